--- /dev/null
+++ b/core/state/clock/doc.go
@@ -0,0 +1,3 @@
+// Package clock holds the time type of the project and the only code that
+// reads the machine's clock. All times and durations are milliseconds.
+package clock
--- /dev/null
+++ b/core/state/fleet/apply.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"fmt"
+
+	"camphorridge/core/state/model"
+)
+
+// Apply applies the change at the given log index and returns its answer.
+// Changes at or below the state's index were applied before and must not be
+// passed again.
+func (s *State) Apply(index model.Version, c model.Change) model.Result {
+	s.Index = index
+	s.Time = max(s.Time, c.Time)
+	if c.Request != "" {
+		if r, ok := s.Results.Get(c.Request); ok {
+			return r
+		}
+	}
+	r := s.dispatch(index, c)
+	if c.Request != "" {
+		s.Results.Put(c.Request, r, s.Time)
+	}
+	return r
+}
+
+func (s *State) dispatch(index model.Version, c model.Change) model.Result {
+	switch c.Kind {
+	case model.ChangeNone:
+		return model.Result{Version: index}
+	case model.ChangeContractApply:
+		return s.applyContract(index, c)
+	case model.ChangeContractRemove:
+		return s.removeContract(index, c)
+	case model.ChangeMaintenanceDeclare:
+		return s.declareMaintenance(index, c)
+	case model.ChangeMaintenanceCancel:
+		return s.cancelMaintenance(index, c)
+	case model.ChangeInstances:
+		return s.stepInstances(index, c)
+	case model.ChangeClaims:
+		return s.applyClaims(index, c)
+	case model.ChangeOutcomes:
+		return s.applyOutcomes(index, c)
+	default:
+		return invalid(fmt.Sprintf("unknown kind of change %d", c.Kind))
+	}
+}
+
+func invalid(reason string) model.Result {
+	return model.Result{Kind: model.ResultInvalid, Reason: reason}
+}
+
+// conflict names the winner of a change against an outdated version.
+func (s *State) conflict(object string, current model.Version, differs []string) model.Result {
+	a := s.Authors[object]
+	return model.Result{
+		Kind:    model.ResultConflict,
+		Version: max(current, a.Version),
+		Winner:  a.Name,
+		Differs: differs,
+		Reason:  fmt.Sprintf("%s is at version %d", object, current),
+	}
+}
+
+func (s *State) applyContract(index model.Version, c model.Change) model.Result {
+	name := c.Contract.Customer
+	if name == "" {
+		return invalid("the contract names no customer")
+	}
+	held := s.Contracts[name]
+	object := "contract " + string(name)
+	if held.Version != c.Base {
+		return s.conflict(object, held.Version, contractDiff(held, c.Contract))
+	}
+	next := c.Contract
+	next.Version = index
+	s.Contracts[name] = next
+	s.Authors[object] = Author{Name: c.Author, Version: index}
+	s.touch(Touch{Version: index, Contract: name})
+	return model.Result{Version: index}
+}
+
+func (s *State) removeContract(index model.Version, c model.Change) model.Result {
+	held, ok := s.Contracts[c.Customer]
+	object := "contract " + string(c.Customer)
+	if !ok {
+		if a, known := s.Authors[object]; known {
+			return model.Result{Kind: model.ResultConflict, Version: a.Version, Winner: a.Name, Reason: object + " was removed"}
+		}
+		return invalid(object + " does not exist")
+	}
+	if held.Version != c.Base {
+		return s.conflict(object, held.Version, nil)
+	}
+	delete(s.Contracts, c.Customer)
+	s.Authors[object] = Author{Name: c.Author, Version: index}
+	s.touch(Touch{Version: index, Contract: c.Customer})
+	return model.Result{Version: index}
+}
+
+func (s *State) declareMaintenance(index model.Version, c model.Change) model.Result {
+	m := c.Maintenance
+	if m.Name == "" {
+		return invalid("the maintenance has no name")
+	}
+	held := s.Maintenance[m.Name]
+	object := "maintenance " + m.Name
+	if held.Version != c.Base {
+		return s.conflict(object, held.Version, maintenanceDiff(held, m))
+	}
+	m.Version = index
+	m.Declared = c.Time
+	s.Maintenance[m.Name] = m
+	s.Authors[object] = Author{Name: c.Author, Version: index}
+	return model.Result{Version: index}
+}
+
+func (s *State) cancelMaintenance(index model.Version, c model.Change) model.Result {
+	held, ok := s.Maintenance[c.Maintenance.Name]
+	object := "maintenance " + c.Maintenance.Name
+	if !ok {
+		return invalid(object + " does not exist")
+	}
+	if held.Version != c.Base {
+		return s.conflict(object, held.Version, nil)
+	}
+	delete(s.Maintenance, c.Maintenance.Name)
+	s.Authors[object] = Author{Name: c.Author, Version: index}
+	return model.Result{Version: index}
+}
+
+// contractDiff names the settings in which two contracts differ.
+func contractDiff(a, b model.Contract) []string {
+	var d []string
+	add := func(name string, differs bool) {
+		if differs {
+			d = append(d, name)
+		}
+	}
+	add("covers", a.Covers != b.Covers)
+	add("pools", !equalShares(a.Pools, b.Pools))
+	add("concurrency", a.Concurrency != b.Concurrency)
+	add("queue", a.Queue != b.Queue)
+	add("retry-percent", a.RetryPercent != b.RetryPercent)
+	add("max-unavailable", a.MaxUnavailable != b.MaxUnavailable)
+	add("budget-ms", a.BudgetMillis != b.BudgetMillis)
+	add("window-ms", a.WindowMillis != b.WindowMillis)
+	add("spare", a.Spare != b.Spare)
+	add("spare-pool", a.SparePool != b.SparePool)
+	add("quota", a.Quota != b.Quota)
+	return d
+}
+
+func equalShares(a, b []model.PoolShare) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func maintenanceDiff(a, b model.Maintenance) []string {
+	var d []string
+	if a.Selector != b.Selector {
+		d = append(d, "selector")
+	}
+	if a.Deadline != b.Deadline {
+		d = append(d, "deadline-ms")
+	}
+	return d
+}
--- /dev/null
+++ b/core/state/fleet/claims.go
@@ -0,0 +1,42 @@
+package fleet
+
+import "camphorridge/core/state/model"
+
+// applyClaims grants each key to the first attempt that asks for it. The same
+// attempt asking again, after a lost answer, is granted again as long as the
+// request was not finished.
+func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
+	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
+	for _, claim := range c.Claims {
+		held, ok := s.Claims.Get(claim.Key)
+		switch {
+		case !ok:
+			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token}, s.Time)
+			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
+		case held.Token == claim.Token && held.State == model.ClaimRunning:
+			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
+		default:
+			r.Claims = append(r.Claims, model.ClaimAnswer{First: held.State, Status: held.Status})
+		}
+	}
+	return r
+}
+
+// applyOutcomes closes claims, or releases those whose request did not run.
+// Outcomes of other attempts than the holder are ignored.
+func (s *State) applyOutcomes(index model.Version, c model.Change) model.Result {
+	for _, o := range c.Outcomes {
+		held, ok := s.Claims.Get(o.Key)
+		if !ok || held.Token != o.Token {
+			continue
+		}
+		if o.NotRun {
+			s.Claims.Remove(o.Key)
+			continue
+		}
+		held.State = o.State
+		held.Status = o.Status
+		s.Claims.Update(o.Key, held)
+	}
+	return model.Result{Version: index}
+}
--- /dev/null
+++ b/core/state/fleet/state.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Bounds on what the state remembers.
+const (
+	// ResultLifetime and MaxResults bound the remembered results of operators'
+	// changes. An operator's tool resends within minutes.
+	ResultLifetime = 24 * clock.Hour
+	MaxResults     = 10_000
+	// ClaimLifetime and MaxClaims bound the idempotency claims.
+	ClaimLifetime = 24 * clock.Hour
+	MaxClaims     = 1_000_000
+	// MaxTouches is the number of table changes that a delta can span; a
+	// reader that is further behind gets the whole table.
+	MaxTouches = 10_000
+)
+
+// State is the replicated state.
+type State struct {
+	// Index is the log index of the last change applied; it only grows.
+	Index model.Version
+	// Version is the index of the last change that altered the table; at most
+	// Index.
+	Version model.Version
+	// Time is the largest leader time seen in a change; it only grows.
+	Time        clock.Millis
+	Contracts   map[model.Customer]model.Contract
+	Instances   map[model.InstanceID]model.Instance
+	Maintenance map[string]model.Maintenance
+	// Results holds the answers to operators' changes by request identity;
+	// at most MaxResults.
+	Results *Memory[model.RequestID, model.Result]
+	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
+	Claims *Memory[model.ClaimKey, HeldClaim]
+	// Authors names who last changed or removed an object, for conflicts.
+	Authors map[string]Author
+	// Touches lists the latest table changes in ascending order of version.
+	Touches []Touch
+}
+
+// HeldClaim is a claimed idempotency key.
+type HeldClaim struct {
+	Token  string
+	State  model.ClaimState
+	Status int
+}
+
+// Author is who last changed an object and by which change.
+type Author struct {
+	Name    string
+	Version model.Version
+}
+
+// Touch says that a change altered a contract or an instance; one name is set.
+type Touch struct {
+	Version  model.Version
+	Contract model.Customer
+	Instance model.InstanceID
+}
+
+// New returns the empty state.
+func New() *State {
+	return &State{
+		Contracts:   map[model.Customer]model.Contract{},
+		Instances:   map[model.InstanceID]model.Instance{},
+		Maintenance: map[string]model.Maintenance{},
+		Results:     NewMemory[model.RequestID, model.Result](MaxResults, ResultLifetime),
+		Claims:      NewMemory[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
+		Authors:     map[string]Author{},
+	}
+}
+
+// Table returns a copy of the configuration that entry processes route by.
+func (s *State) Table() model.Table {
+	t := model.Table{
+		Version:   s.Version,
+		Contracts: make(map[model.Customer]model.Contract, len(s.Contracts)),
+		Instances: make(map[model.InstanceID]model.Instance, len(s.Instances)),
+	}
+	for k, v := range s.Contracts {
+		t.Contracts[k] = v
+	}
+	for k, v := range s.Instances {
+		t.Instances[k] = v
+	}
+	return t
+}
--- /dev/null
+++ b/core/state/model/doc.go
@@ -0,0 +1,3 @@
+// Package model holds the domain types: plain structs without behaviour of
+// their own beyond names and small derivations.
+package model
--- /dev/null
+++ b/core/state/model/model.go
@@ -0,0 +1,233 @@
+package model
+
+import "camphorridge/core/state/clock"
+
+// Names of the objects of the domain.
+type (
+	// Customer names the holder of a contract.
+	Customer string
+	// Pool names a group of instances that run one service.
+	Pool string
+	// InstanceID names a machine of the fleet.
+	InstanceID string
+	// Zone names an availability zone.
+	Zone string
+	// Rack names a rack; racks are unique across zones.
+	Rack string
+	// Process names a process of the system itself.
+	Process string
+	// RequestID identifies an operator's change across resends.
+	RequestID string
+)
+
+// Version is the log index of the change that last altered an object.
+type Version uint64
+
+// Domain is a kind of failure domain.
+type Domain int
+
+// The failure domains, from the smallest to the largest.
+const (
+	DomainInstance Domain = iota
+	DomainRack
+	DomainZone
+)
+
+var domainNames = [...]string{"instance", "rack", "zone"}
+
+// String returns the name used in files and reports.
+func (d Domain) String() string {
+	if d < 0 || int(d) >= len(domainNames) {
+		return "unknown"
+	}
+	return domainNames[d]
+}
+
+// ParseDomain returns the domain of that name; ok is false for other names.
+func ParseDomain(s string) (d Domain, ok bool) {
+	for i, n := range domainNames {
+		if n == s {
+			return Domain(i), true
+		}
+	}
+	return 0, false
+}
+
+// Contract is what one customer was promised and may use. Every limit in the
+// system derives from it.
+type Contract struct {
+	Customer Customer
+	// Version is 0 until the contract was accepted.
+	Version Version
+	// Covers is the largest failure domain whose loss leaves the capacity
+	// whole.
+	Covers Domain
+	// Pools lists the capacity promised, by pool; names are unique.
+	Pools []PoolShare
+	// Concurrency is the number of requests in flight over all entry
+	// processes; 0 derives it from the instances' slots.
+	Concurrency int
+	// Queue is the number of requests that may wait over all entry processes.
+	Queue int
+	// RetryPercent bounds retries, as a share of the first tries.
+	RetryPercent int
+	// MaxUnavailable is the number of the customer's instances that may be
+	// out of service at once, for planned and unplanned reasons together.
+	MaxUnavailable int
+	// BudgetMillis is the unavailable time, summed over instances, that one
+	// window allows.
+	BudgetMillis clock.Millis
+	WindowMillis clock.Millis
+	// Spare is the number of idle instances that wait in SparePool.
+	Spare     int
+	SparePool Pool
+	// Quota bounds the customer's tasks on workers.
+	Quota Quota
+}
+
+// PoolShare is the capacity of one pool in a contract.
+type PoolShare struct {
+	Pool Pool
+	// Instances is the number promised; at least 1.
+	Instances int
+}
+
+// Quota bounds the resources that a customer's tasks hold at once.
+type Quota struct {
+	MilliCores   int
+	MemoryMiB    int
+	Accelerators int
+}
+
+// Phase is the state of an instance's membership in a pool.
+type Phase int
+
+// The phases of an instance.
+const (
+	// PhaseServing: routable in its pool.
+	PhaseServing Phase = iota
+	// PhaseReleasing: no new requests; waits for the entry processes of its
+	// zone to confirm.
+	PhaseReleasing
+	// PhaseMaintenance: confirmed free and handed to the platform.
+	PhaseMaintenance
+	// PhaseRetired: no longer part of the fleet.
+	PhaseRetired
+)
+
+var phaseNames = [...]string{"serving", "releasing", "maintenance", "retired"}
+
+// String returns the name used in files and reports.
+func (p Phase) String() string {
+	if p < 0 || int(p) >= len(phaseNames) {
+		return "unknown"
+	}
+	return phaseNames[p]
+}
+
+// Instance is a machine of the fleet as the control group knows it.
+type Instance struct {
+	ID   InstanceID
+	Zone Zone
+	Rack Rack
+	// Pool is the one pool that the instance belongs to. It changes only
+	// after every entry process of the zone confirmed the release.
+	Pool Pool
+	// Target is the pool it moves to while releasing; equal to Pool when the
+	// release is for maintenance.
+	Target Pool
+	Phase  Phase
+	// Slots and Connections bound the requests and the connections over all
+	// entry processes.
+	Slots       int
+	Connections int
+	// Reason says why the last phase was entered.
+	Reason string
+	// Maintained is the time of the last finished maintenance; 0 for never.
+	Maintained clock.Millis
+	// Since is the time at which the phase was entered, by the leader's
+	// clock.
+	Since   clock.Millis
+	Version Version
+}
+
+// Member is a process of the system from its settings.
+type Member struct {
+	Name    Process
+	Zone    Zone
+	Address string
+}
+
+// Selector picks instances; an empty field matches all.
+type Selector struct {
+	Pool     Pool
+	Zone     Zone
+	Rack     Rack
+	Instance InstanceID
+}
+
+// Matches reports whether the instance is selected.
+func (s Selector) Matches(i Instance) bool {
+	return (s.Pool == "" || s.Pool == i.Pool) &&
+		(s.Zone == "" || s.Zone == i.Zone) &&
+		(s.Rack == "" || s.Rack == i.Rack) &&
+		(s.Instance == "" || s.Instance == i.ID)
+}
+
+// Maintenance is a declaration that the selected instances must be maintained
+// by a deadline.
+type Maintenance struct {
+	Name     string
+	Selector Selector
+	Declared clock.Millis
+	Deadline clock.Millis
+	Version  Version
+}
+
+// AnnounceState is what an upstream says about itself.
+type AnnounceState int
+
+// The states of an announcement.
+const (
+	AnnounceServing AnnounceState = iota
+	AnnounceLeaving
+)
+
+// Announcement is what an upstream tells the entry processes of its zone.
+type Announcement struct {
+	Instance InstanceID
+	Zone     Zone
+	Rack     Rack
+	// Pool is the pool whose service the instance runs now.
+	Pool Pool
+	// Address is host:port, by IP number.
+	Address     string
+	Slots       int
+	Connections int
+	// Incarnation grows with each start of the upstream's process.
+	Incarnation uint64
+	State       AnnounceState
+	// HealthPath is the path that probes ask for; empty turns probes off.
+	HealthPath string
+}
+
+// Table is the configuration that entry processes route by.
+type Table struct {
+	// Version never goes down within a process.
+	Version   Version
+	Contracts map[Customer]Contract
+	Instances map[InstanceID]Instance
+}
+
+// Delta is the difference between two versions of a table.
+type Delta struct {
+	// From is the version that the delta applies to; 0 with Full set.
+	From Version
+	To   Version
+	// Full says that the delta replaces the table.
+	Full             bool
+	Contracts        []Contract
+	Instances        []Instance
+	RemovedContracts []Customer
+	RemovedInstances []InstanceID
+}
--- /dev/null
+++ b/core/state/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring holds the bounded queue that joins two duties.
+package ring
