--- /dev/null
+++ b/core/coord/follow/poller.go
@@ -0,0 +1,171 @@
+package follow
+
+import (
+	"context"
+	"sort"
+	"sync/atomic"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Timing of the poller.
+const (
+	// WatchWait is how long a control member may hold back its answer.
+	WatchWait = 2 * clock.Second
+	// watchSlack is added to WatchWait before a member counts as silent.
+	watchSlack = clock.Second
+	// retryWait separates two rounds in which nobody answered.
+	retryWait clock.Millis = 250
+	// neighbourTimeout bounds one question to a neighbour.
+	neighbourTimeout clock.Millis = 500
+	// ReadyAfter is how long a starting process looks for a control member
+	// before it serves the table of a neighbour.
+	ReadyAfter = 5 * clock.Second
+)
+
+// Source reads tables from other processes.
+type Source interface {
+	// Watch asks a control member for the delta after a version.
+	Watch(ctx context.Context, m model.Member, from model.Version, wait clock.Millis) (model.Delta, error)
+	// Table asks an entry process; ready is false while it has no table.
+	Table(ctx context.Context, m model.Member, from model.Version) (d model.Delta, ready bool, err error)
+}
+
+// Poller is the duty that fetches the table.
+type Poller[S Source] struct {
+	Self model.Member
+	// Control lists the control members, those of the own zone first.
+	Control []model.Member
+	// Neighbours lists the other entry processes of the own zone.
+	Neighbours []model.Member
+	source     S
+	keeper     *Keeper
+	watch      *Watchdog
+	clock      clock.Clock
+	done       chan struct{}
+	version    atomic.Uint64
+	inForce    atomic.Int64
+	// contact is the time of the last answer of a control member.
+	contact atomic.Int64
+}
+
+// NewPoller returns a poller for the process self.
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, k *Keeper, w *Watchdog, c clock.Clock) *Poller[S] {
+	p := &Poller[S]{Self: self, source: s, keeper: k, watch: w, clock: c, done: make(chan struct{})}
+	p.Control = append(p.Control, control...)
+	sort.SliceStable(p.Control, func(i, j int) bool {
+		a, b := p.Control[i].Zone == self.Zone, p.Control[j].Zone == self.Zone
+		return a && !b
+	})
+	for _, m := range entries {
+		if m.Zone == self.Zone && m.Name != self.Name {
+			p.Neighbours = append(p.Neighbours, m)
+		}
+	}
+	return p
+}
+
+// Version is the version of the table in force.
+func (p *Poller[S]) Version() model.Version { return model.Version(p.version.Load()) }
+
+// Since is the time from which the table has been in force.
+func (p *Poller[S]) Since() clock.Millis { return clock.Millis(p.inForce.Load()) }
+
+// Contact is the time of the last answer of a control member; 0 for none.
+func (p *Poller[S]) Contact() clock.Millis { return clock.Millis(p.contact.Load()) }
+
+// Run polls until Stop.
+func (p *Poller[S]) Run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-p.done
+		cancel()
+	}()
+	started := p.clock.Now()
+	for !p.stopped() {
+		if p.pollControl(ctx) {
+			continue
+		}
+		p.askNeighbours(ctx, p.clock.Now()-started >= ReadyAfter)
+		select {
+		case <-p.clock.After(retryWait):
+		case <-p.done:
+		}
+	}
+	return nil
+}
+
+// Stop ends Run.
+func (p *Poller[S]) Stop() { close(p.done) }
+
+func (p *Poller[S]) stopped() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// pollControl asks the control members in turn and reports whether one
+// answered. A process that is not ready asks without waiting.
+func (p *Poller[S]) pollControl(ctx context.Context) bool {
+	for _, m := range p.Control {
+		wait := WatchWait
+		if !p.watch.Confirmed() {
+			wait = 0
+		}
+		mark := p.watch.Mark()
+		callCtx, cancel := context.WithTimeout(ctx, (wait + watchSlack).Duration())
+		d, err := p.source.Watch(callCtx, m, p.Version(), wait)
+		cancel()
+		if p.stopped() {
+			return true
+		}
+		if err != nil || !p.take(d) {
+			continue
+		}
+		p.contact.Store(int64(p.clock.Now()))
+		p.watch.Confirm(mark)
+		return true
+	}
+	return false
+}
+
+// take offers the delta to the keeper; an empty delta is accepted as it is.
+// A member that is behind this process offers nothing that can be taken.
+func (p *Poller[S]) take(d model.Delta) bool {
+	if d.To < p.Version() {
+		return false
+	}
+	if !d.Full && d.To == p.Version() && d.From == d.To {
+		return true
+	}
+	if !p.keeper.Offer(d) {
+		return false
+	}
+	p.version.Store(uint64(d.To))
+	p.inForce.Store(int64(p.clock.Now()))
+	return true
+}
+
+// askNeighbours takes the highest table of the zone. It makes the process
+// ready only when it has looked for a control member for long enough.
+func (p *Poller[S]) askNeighbours(ctx context.Context, enough bool) {
+	mark := p.watch.Mark()
+	answered := false
+	for _, m := range p.Neighbours {
+		callCtx, cancel := context.WithTimeout(ctx, neighbourTimeout.Duration())
+		d, ready, err := p.source.Table(callCtx, m, p.Version())
+		cancel()
+		if err != nil || !ready {
+			continue
+		}
+		answered = p.take(d) || answered
+	}
+	if enough && (answered || p.Version() > 0) {
+		p.watch.Confirm(mark)
+	}
+}
