--- /dev/null
+++ b/core/coord/boot/boot.go
@@ -0,0 +1,142 @@
+package boot
+
+import (
+	"context"
+	"sort"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+)
+
+// askTimeout bounds one question to another member, and askWait separates two
+// rounds of questions.
+const (
+	askTimeout clock.Millis = 500
+	askWait    clock.Millis = 200
+)
+
+// Hello is what a control process says about itself.
+type Hello struct {
+	Name model.Process
+	ID   raft.MemberID
+	// Initialised is set once the process has been in a group; it is durable
+	// and never cleared.
+	Initialised bool
+}
+
+// Asker asks a control process who it is.
+type Asker interface {
+	Hello(ctx context.Context, m model.Member) (Hello, error)
+}
+
+// Plan is the decision of a process with an empty data folder.
+type Plan int
+
+// The decisions.
+const (
+	// PlanAskAgain: not every configured member answered.
+	PlanAskAgain Plan = iota
+	// PlanForm: all members are new; each writes the same first member list.
+	PlanForm
+	// PlanJoin: a group exists; its leader must add this process.
+	PlanJoin
+)
+
+// Decide returns the plan and, for PlanForm, the members of the new group.
+// answers holds one answer for each configured member that could be asked,
+// this process included.
+func Decide(configured []model.Member, answers []Hello) (Plan, []raft.Member) {
+	byName := make(map[model.Process]Hello, len(answers))
+	for _, a := range answers {
+		if a.Initialised {
+			return PlanJoin, nil
+		}
+		byName[a.Name] = a
+	}
+	members := make([]raft.Member, 0, len(configured))
+	for _, m := range configured {
+		a, ok := byName[m.Name]
+		if !ok || a.ID == 0 {
+			return PlanAskAgain, nil
+		}
+		members = append(members, raft.Member{ID: a.ID, Name: m.Name, Zone: m.Zone, Address: m.Address, Voter: true})
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return PlanForm, members
+}
+
+// Wait asks the configured members until the plan is clear or done is closed;
+// it returns PlanAskAgain in the latter case.
+func Wait[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
+	for {
+		plan, members := Decide(configured, ask(a, self, configured))
+		if plan != PlanAskAgain {
+			return plan, members
+		}
+		select {
+		case <-c.After(askWait):
+		case <-done:
+			return PlanAskAgain, nil
+		}
+	}
+}
+
+func ask[A Asker](a A, self Hello, configured []model.Member) []Hello {
+	answers := []Hello{self}
+	for _, m := range configured {
+		if m.Name == self.Name {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+		h, err := a.Hello(ctx, m)
+		cancel()
+		if err == nil {
+			answers = append(answers, h)
+		}
+	}
+	return answers
+}
+
+// Replacement is a change of the member list that the leader should make.
+type Replacement struct {
+	// Remove is the member whose data folder was lost; 0 for none.
+	Remove raft.MemberID
+	// Add is the process that took its place, as a non-voter; its ID is 0 for
+	// none.
+	Add raft.Member
+}
+
+// Replace compares the members with what the configured processes say of
+// themselves. A process that answers under a configured name with another,
+// uninitialised identity has lost its data folder. At most one member is
+// replaced at a time; the leader that asks leads without the lost member.
+func Replace(members []raft.Member, configured []model.Member, answers []Hello) (Replacement, bool) {
+	held := make(map[model.Process]raft.Member, len(members))
+	for _, m := range members {
+		held[m.Name] = m
+	}
+	byName := make(map[model.Process]Hello, len(answers))
+	for _, a := range answers {
+		byName[a.Name] = a
+	}
+	for _, m := range configured {
+		a, ok := byName[m.Name]
+		if !ok || a.ID == 0 {
+			continue
+		}
+		old, known := held[m.Name]
+		if known && old.ID == a.ID {
+			continue
+		}
+		if a.Initialised {
+			continue
+		}
+		add := raft.Member{ID: a.ID, Name: m.Name, Zone: m.Zone, Address: m.Address}
+		if known {
+			return Replacement{Remove: old.ID, Add: add}, true
+		}
+		return Replacement{Add: add}, true
+	}
+	return Replacement{}, false
+}
--- /dev/null
+++ b/io/trans/peers/leader.go
@@ -0,0 +1,140 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"camphorridge/core/coord/follow"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/io/proto/codec"
+	"camphorridge/io/proto/wirepb"
+)
+
+// Timing of calls to the leader.
+const (
+	// attemptTimeout bounds one try, so that a frozen member does not use up
+	// the time of the whole call.
+	attemptTimeout = 1500 * clock.Millis(1)
+	// roundWait separates two rounds over all members, as an election takes
+	// about a second.
+	roundWait clock.Millis = 100
+)
+
+// Leader finds the leader of the control group and calls it.
+type Leader struct {
+	Members []model.Member
+	client  *Client
+	clock   clock.Clock
+	mu      sync.Mutex
+	// last is the address that answered as the leader; empty when unknown.
+	last string
+}
+
+// NewLeader returns a caller of the leader among the members.
+func NewLeader(c *Client, members []model.Member, clk clock.Clock) *Leader {
+	return &Leader{Members: members, client: c, clock: clk}
+}
+
+// Propose hands in a change and waits for its result. The change is handed in
+// again after a lost answer, so it must carry a request identity or be
+// idempotent by itself. An error of KindUnknown or KindUnreachable means that
+// the change may have been accepted.
+func (l *Leader) Propose(ctx context.Context, c model.Change) (model.Result, error) {
+	var r model.Result
+	err := l.call(ctx, "propose", func(ctx context.Context, w wirepb.Control) error {
+		resp, err := w.Propose(ctx, &wirepb.ProposeRequest{Change: codec.ChangeToWire(c), Stamp: l.client.stamp()})
+		if err != nil {
+			return err
+		}
+		l.client.observe(resp.GetStamp())
+		r, err = codec.ResultFromWire(resp.GetResult())
+		return err
+	})
+	return r, err
+}
+
+// Report sends a report and returns the leader's term.
+func (l *Leader) Report(ctx context.Context, r follow.Report) (uint64, error) {
+	var term uint64
+	err := l.call(ctx, "report", func(ctx context.Context, w wirepb.Control) error {
+		req := reportToWire(r)
+		req.Stamp = l.client.stamp()
+		resp, err := w.Report(ctx, req)
+		if err != nil {
+			return err
+		}
+		l.client.observe(resp.GetStamp())
+		term = resp.GetTerm()
+		return nil
+	})
+	return term, err
+}
+
+// call tries the last known leader, then all members, until one takes the
+// call or ctx ends. It follows the address that a member names as the leader.
+func (l *Leader) call(ctx context.Context, op string, f func(context.Context, wirepb.Control) error) error {
+	next := l.known()
+	var last error
+	for n := 0; ; n++ {
+		if next == "" {
+			next = l.Members[n%len(l.Members)].Address
+		}
+		mapped, leader := l.attempt(ctx, op, next, f)
+		if mapped == nil {
+			l.remember(next)
+			return nil
+		}
+		last = mapped
+		if mapped.Kind == KindInvalid {
+			return mapped
+		}
+		if leader == next {
+			leader = ""
+		}
+		next = leader
+		if leader == "" {
+			l.remember("")
+		}
+		if leader == "" && n%len(l.Members) == len(l.Members)-1 {
+			l.wait(ctx)
+		}
+		if ctx.Err() != nil {
+			return &Error{Op: op, Kind: KindUnknown, Err: fmt.Errorf("%w; last: %w", ctx.Err(), last)}
+		}
+	}
+}
+
+func (l *Leader) attempt(ctx context.Context, op, address string, f func(context.Context, wirepb.Control) error) (*Error, string) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout.Duration())
+	defer cancel()
+	err := f(ctx, l.client.remote(address).control)
+	if err == nil {
+		return nil, ""
+	}
+	mapped, leader := fromTwirp(op, err)
+	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
+		l.client.http.CloseIdleConnections()
+	}
+	return mapped, leader
+}
+
+func (l *Leader) wait(ctx context.Context) {
+	select {
+	case <-l.clock.After(roundWait):
+	case <-ctx.Done():
+	}
+}
+
+func (l *Leader) known() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
+}
+
+func (l *Leader) remember(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = address
+}
