--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -24,6 +24,10 @@
 	ReadyAfter = 5 * clock.Second
 )
 
+// Offer hands a delta to the duty that owns the table. An error means that it
+// was not taken: it would lower the version or does not follow on the table.
+type Offer func(d model.Delta) error
+
 // Source reads tables from other processes.
 type Source interface {
 	// Watch asks a control member for the delta after a version.
@@ -40,7 +44,7 @@
 	// Neighbours lists the other entry processes of the own zone.
 	Neighbours []model.Member
 	source     S
-	keeper     *Keeper
+	offer      Offer
 	watch      *Watchdog
 	clock      clock.Clock
 	done       chan struct{}
@@ -51,8 +55,8 @@
 }
 
 // NewPoller returns a poller for the process self.
-func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, k *Keeper, w *Watchdog, c clock.Clock) *Poller[S] {
-	p := &Poller[S]{Self: self, source: s, keeper: k, watch: w, clock: c, done: make(chan struct{})}
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, w *Watchdog, c clock.Clock) *Poller[S] {
+	p := &Poller[S]{Self: self, source: s, offer: offer, watch: w, clock: c, done: make(chan struct{})}
 	p.Control = append(p.Control, control...)
 	sort.SliceStable(p.Control, func(i, j int) bool {
 		a, b := p.Control[i].Zone == self.Zone, p.Control[j].Zone == self.Zone
@@ -134,7 +138,7 @@
 	return false
 }
 
-// take offers the delta to the keeper; an empty delta is accepted as it is.
+// take offers the delta to the table's owner; an empty delta is taken as it is.
 // A member that is behind this process offers nothing that can be taken.
 func (p *Poller[S]) take(d model.Delta) bool {
 	if d.To < p.Version() {
@@ -143,7 +147,7 @@
 	if !d.Full && d.To == p.Version() && d.From == d.To {
 		return true
 	}
-	if !p.keeper.Offer(d) {
+	if p.offer(d) != nil {
 		return false
 	}
 	p.version.Store(uint64(d.To))
--- /dev/null
+++ b/io/trans/peers/announce.go
@@ -0,0 +1,155 @@
+package peers
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// maxAnnounceBytes bounds the body of an announcement.
+const maxAnnounceBytes = 8 << 10
+
+// Bounds of the values in an announcement.
+const (
+	maxNameBytes   = 128
+	maxSlots       = 1024
+	maxConnections = 65536
+)
+
+// Announced is the answer to an accepted announcement.
+type Announced struct {
+	Lease clock.Millis
+	// Pool is the pool that the control group assigned the instance to; empty
+	// while it is unknown.
+	Pool model.Pool
+}
+
+// AnnounceFunc hands an announcement to the duty that holds them.
+type AnnounceFunc func(a model.Announcement) (Announced, error)
+
+// AnnounceHandler serves POST /announce for upstreams. The answer is
+// form-encoded: lease-ms and pool, or reason with status 400 or 409.
+func AnnounceHandler(announce AnnounceFunc) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxAnnounceBytes)
+		if err := r.ParseForm(); err != nil {
+			refuseAnnouncement(w, http.StatusBadRequest, err)
+			return
+		}
+		a, err := ParseAnnouncement(r.PostForm)
+		if err != nil {
+			refuseAnnouncement(w, http.StatusBadRequest, err)
+			return
+		}
+		got, err := announce(a)
+		if err != nil {
+			refuseAnnouncement(w, http.StatusConflict, err)
+			return
+		}
+		v := url.Values{"lease-ms": {strconv.FormatInt(int64(got.Lease), 10)}}
+		if got.Pool != "" {
+			v.Set("pool", string(got.Pool))
+		}
+		fmt.Fprintln(w, v.Encode())
+	})
+	return mux
+}
+
+func refuseAnnouncement(w http.ResponseWriter, status int, err error) {
+	w.WriteHeader(status)
+	fmt.Fprintln(w, url.Values{"reason": {err.Error()}}.Encode())
+}
+
+// ParseAnnouncement reads a form. Its errors name the field, its value and
+// what is allowed.
+func ParseAnnouncement(f url.Values) (model.Announcement, error) {
+	p := formParser{form: f}
+	a := model.Announcement{
+		Instance:    model.InstanceID(p.name("instance")),
+		Zone:        model.Zone(p.name("zone")),
+		Rack:        model.Rack(p.name("rack")),
+		Pool:        model.Pool(p.name("pool")),
+		Address:     p.address("address"),
+		Slots:       int(p.number("slots", 1, maxSlots)),
+		Connections: int(p.number("connections", 1, maxConnections)),
+		Incarnation: uint64(p.number("incarnation", 1, 1<<62)),
+		State:       p.state("state"),
+		HealthPath:  f.Get("health-path"),
+	}
+	if p.err == nil && a.HealthPath != "" && a.HealthPath[0] != '/' {
+		p.fail("health-path", a.HealthPath, "a path that starts with /")
+	}
+	if p.err == nil && a.Connections < a.Slots {
+		p.fail("connections", f.Get("connections"), "at least the number of slots")
+	}
+	if p.err != nil {
+		return model.Announcement{}, p.err
+	}
+	return a, nil
+}
+
+// formParser keeps the first error of a form.
+type formParser struct {
+	form url.Values
+	err  error
+}
+
+func (p *formParser) fail(field, value, allowed string) {
+	if p.err == nil {
+		p.err = &Error{Op: "announcement", Kind: KindInvalid, Err: fmt.Errorf("%s is %q: want %s", field, value, allowed)}
+	}
+}
+
+func (p *formParser) name(field string) string {
+	v := p.form.Get(field)
+	if len(v) == 0 || len(v) > maxNameBytes {
+		p.fail(field, v, fmt.Sprintf("1 to %d letters, digits, dots, dashes or underscores", maxNameBytes))
+		return ""
+	}
+	for _, c := range []byte(v) {
+		if !nameByte(c) {
+			p.fail(field, v, "letters, digits, dots, dashes or underscores")
+			return ""
+		}
+	}
+	return v
+}
+
+func nameByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '.' || c == '-' || c == '_'
+}
+
+func (p *formParser) address(field string) string {
+	v := p.form.Get(field)
+	if !ipPort(v) {
+		p.fail(field, v, "ip:port")
+		return ""
+	}
+	return v
+}
+
+func (p *formParser) number(field string, low, high int64) int64 {
+	n, err := strconv.ParseInt(p.form.Get(field), 10, 64)
+	if err != nil || n < low || n > high {
+		p.fail(field, p.form.Get(field), fmt.Sprintf("a number from %d to %d", low, high))
+		return 0
+	}
+	return n
+}
+
+func (p *formParser) state(field string) model.AnnounceState {
+	switch v := p.form.Get(field); v {
+	case "", "serving":
+		return model.AnnounceServing
+	case "leaving":
+		return model.AnnounceLeaving
+	default:
+		p.fail(field, v, "serving or leaving")
+		return model.AnnounceServing
+	}
+}
