--- /dev/null
+++ b/io/proto/conf/conf.go
@@ -0,0 +1,110 @@
+package conf
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Listen holds the addresses that a process listens on, as ip:port. Port 0
+// picks a free port.
+type Listen struct {
+	// Callers and Upstreams are empty for a control process.
+	Callers   string
+	Upstreams string
+	Peers     string
+	Admin     string
+}
+
+// Limits holds the bounds that apply to a process whatever the contracts say.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	// BodyReadMillis is at most MaxTimeoutMillis.
+	BodyReadMillis clock.Millis
+	// DefaultTimeoutMillis is at most MaxTimeoutMillis.
+	DefaultTimeoutMillis clock.Millis
+	MaxTimeoutMillis     clock.Millis
+	LeaseMillis          clock.Millis
+	QueueRing            int
+	RetryPercent         int
+	// DrainMillis bounds a graceful stop. In an entry process it is at least
+	// MaxTimeoutMillis, so that a stop interrupts no request.
+	DrainMillis clock.Millis
+}
+
+// ControlLimits holds the bounds of a control process.
+type ControlLimits struct {
+	LeaseMillis clock.Millis
+	DrainMillis clock.Millis
+}
+
+// Consensus holds the timing and the file sizes of the replicated log.
+type Consensus struct {
+	ElectionMillis clock.Millis
+	// HeartbeatMillis is at most a third of ElectionMillis.
+	HeartbeatMillis clock.Millis
+	// SnapshotEvery is the number of log entries from one snapshot to the next.
+	SnapshotEvery int
+	SegmentBytes  int64
+}
+
+// Entry holds the settings of an entry process.
+type Entry struct {
+	Name   model.Process
+	Zone   model.Zone
+	Listen Listen
+	// Controls lists the control members, sorted by name; at least one.
+	Controls []model.Member
+	// Entries lists the entry processes with their peers addresses, sorted by
+	// name; it contains this process.
+	Entries []model.Member
+	Limits  Limits
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// EventCapacity is the number of time-line events kept.
+	EventCapacity int
+}
+
+// Control holds the settings of a control process.
+type Control struct {
+	Name       model.Process
+	Zone       model.Zone
+	DataFolder string
+	Listen     Listen
+	// Controls lists the control members, sorted by name; it contains this
+	// process.
+	Controls []model.Member
+	// Entries lists the entry processes, sorted by name.
+	Entries   []model.Member
+	Limits    ControlLimits
+	Consensus Consensus
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// EventCapacity is the number of time-line events kept.
+	EventCapacity int
+}
+
+// LoadEntry reads the settings of an entry process.
+func LoadEntry(path string) (Entry, error) { return load(path, ParseEntry) }
+
+// LoadControl reads the settings of a control process.
+func LoadControl(path string) (Control, error) { return load(path, ParseControl) }
+
+// LoadContract reads a contract file.
+func LoadContract(path string) (model.Contract, error) { return load(path, ParseContract) }
+
+// ParseEntry reads the settings of an entry process; file is named in errors.
+func ParseEntry(file string, data []byte) (Entry, error) {
+	return decode("entry settings", file, data, entryKeys(), checkEntry)
+}
+
+// ParseControl reads the settings of a control process; file is named in
+// errors.
+func ParseControl(file string, data []byte) (Control, error) {
+	return decode("control settings", file, data, controlKeys(), checkControl)
+}
+
+// ParseContract reads a contract; file is named in errors.
+func ParseContract(file string, data []byte) (model.Contract, error) {
+	return decode("contract", file, data, contractKeys(), checkContract)
+}
--- /dev/null
+++ b/io/proto/conf/error.go
@@ -0,0 +1,84 @@
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Kind tells the errors of the package apart.
+type Kind int
+
+// The kinds of error.
+const (
+	// KindRead: the file cannot be read or is too large.
+	KindRead Kind = iota
+	// KindSyntax: the file is not INI.
+	KindSyntax
+	// KindInvalid: settings are missing, unknown, duplicate or out of range.
+	KindInvalid
+)
+
+// Problem is one error of a file. Empty fields do not apply.
+type Problem struct {
+	File    string
+	Section string
+	Key     string
+	Value   string
+	Reason  string
+	// Allowed says what would be accepted.
+	Allowed string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Section != "" || p.Key != "" {
+		b.WriteByte(':')
+	}
+	if p.Section != "" {
+		fmt.Fprintf(&b, " [%s]", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, " %s", p.Key)
+	}
+	if p.Value != "" {
+		fmt.Fprintf(&b, " = %q", p.Value)
+	}
+	fmt.Fprintf(&b, ": %s", p.Reason)
+	if p.Allowed != "" {
+		fmt.Fprintf(&b, "; allowed: %s", p.Allowed)
+	}
+	return b.String()
+}
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+	// Problems lists every error found in the file, in the order of the file
+	// and then of the checks across keys. It is empty for KindRead.
+	Problems []Problem
+}
+
+// Error returns one line per problem, after a heading when there are several.
+func (e *Error) Error() string {
+	if n := len(e.Problems); n > 1 {
+		return fmt.Sprintf("%s: %d errors\n%s", e.Op, n, e.Err)
+	}
+	return e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// newError wraps the problems found in a file.
+func newError(op string, kind Kind, problems []Problem) *Error {
+	errs := make([]error, 0, len(problems))
+	for _, p := range problems {
+		errs = append(errs, errors.New(p.String()))
+	}
+	return &Error{Op: op, Kind: kind, Err: errors.Join(errs...), Problems: problems}
+}
--- /dev/null
+++ b/io/proto/conf/rule.go
@@ -0,0 +1,67 @@
+package conf
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"camphorridge/core/state/model"
+)
+
+// maxName is the largest length of a name; names are sent in headers and
+// paths.
+const maxName = 64
+
+// maxPath is the largest length of a path that the platform accepts.
+const maxPath = 4096
+
+var nameRule = rule{
+	allowed: "1 to 64 letters, digits, '-' and '_', starting with a letter or digit",
+	accepts: isName,
+}
+
+var listenRule = rule{
+	allowed: "ip:port with an IP number and a port from 0 to 65535",
+	accepts: func(s string) bool {
+		_, err := netip.ParseAddrPort(s)
+		return err == nil
+	},
+}
+
+var pathRule = rule{
+	allowed: "a folder of at most 4096 bytes",
+	accepts: func(s string) bool {
+		return s != "" && len(s) <= maxPath && !strings.ContainsRune(s, 0)
+	},
+}
+
+// wordRule accepts one of the words.
+func wordRule(words ...string) rule {
+	return rule{
+		allowed: strings.Join(words, ", "),
+		accepts: func(s string) bool { return slices.Contains(words, s) },
+	}
+}
+
+func isName(s string) bool {
+	for i, r := range s {
+		letterOrDigit := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letterOrDigit && (i == 0 || r != '-' && r != '_') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxName
+}
+
+// parseMember parses zone@ip:port.
+func parseMember(name, value string) (m model.Member, ok bool) {
+	zone, address, ok := strings.Cut(value, "@")
+	if !ok || !isName(zone) {
+		return m, false
+	}
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
+		return m, false
+	}
+	return model.Member{Name: model.Process(name), Zone: model.Zone(zone), Address: address}, true
+}
--- /dev/null
+++ b/io/proto/conf/table.go
@@ -0,0 +1,144 @@
+package conf
+
+import (
+	"slices"
+	"strconv"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+const kib = 1 << 10
+
+// maxMembers bounds the process lists; the design has at most 7 control
+// members and one entry process for each of a few hundred instances.
+const maxMembers = 512
+
+func entryKeys() []Key[Entry] {
+	return slices.Concat(
+		[]Key[Entry]{
+			textKey("process", "name", "", nameRule, "name of this process; unique among all processes", func(e *Entry) *model.Process { return &e.Name }),
+			textKey("process", "zone", "", nameRule, "availability zone of this process", func(e *Entry) *model.Zone { return &e.Zone }),
+			textKey("listen", "callers", "", listenRule, "address for the requests of callers", func(e *Entry) *string { return &e.Listen.Callers }),
+			textKey("listen", "upstreams", "", listenRule, "address for the announcements of upstreams", func(e *Entry) *string { return &e.Listen.Upstreams }),
+		},
+		listenKeys(func(e *Entry) *Listen { return &e.Listen }),
+		memberKeys(func(e *Entry) *[]model.Member { return &e.Controls }, func(e *Entry) *[]model.Member { return &e.Entries }),
+		limitKeys(),
+		commonKeys(func(e *Entry) *string { return &e.LogLevel }, func(e *Entry) *int { return &e.EventCapacity }),
+	)
+}
+
+func controlKeys() []Key[Control] {
+	return slices.Concat(
+		[]Key[Control]{
+			textKey("process", "name", "", nameRule, "name of this process; unique among all processes", func(c *Control) *model.Process { return &c.Name }),
+			textKey("process", "zone", "", nameRule, "availability zone of this process", func(c *Control) *model.Zone { return &c.Zone }),
+			textKey("process", "data-folder", "", pathRule, "folder of the durable state; owned by this process alone", func(c *Control) *string { return &c.DataFolder }),
+		},
+		listenKeys(func(c *Control) *Listen { return &c.Listen }),
+		memberKeys(func(c *Control) *[]model.Member { return &c.Controls }, func(c *Control) *[]model.Member { return &c.Entries }),
+		[]Key[Control]{
+			leaseKey(func(c *Control) *clock.Millis { return &c.Limits.LeaseMillis }),
+			drainKey(func(c *Control) *clock.Millis { return &c.Limits.DrainMillis }),
+			intKey("consensus", "election-ms", "ms", "1000", 50, clock.Minute, "a follower that hears nothing from a leader for this long, up to twice that, starts an election", func(c *Control) *clock.Millis { return &c.Consensus.ElectionMillis }),
+			intKey("consensus", "heartbeat-ms", "ms", "200", 10, 20*clock.Second, "interval of the leader's heartbeats; at most a third of election-ms", func(c *Control) *clock.Millis { return &c.Consensus.HeartbeatMillis }),
+			intKey("consensus", "snapshot-every", "entries", "10000", 10, 10_000_000, "log entries from one snapshot to the next", func(c *Control) *int { return &c.Consensus.SnapshotEvery }),
+			intKey("consensus", "segment-bytes", "bytes", "8388608", 4*kib, 1<<30, "size at which a log segment is closed", func(c *Control) *int64 { return &c.Consensus.SegmentBytes }),
+		},
+		commonKeys(func(c *Control) *string { return &c.LogLevel }, func(c *Control) *int { return &c.EventCapacity }),
+	)
+}
+
+func listenKeys[T any](field func(*T) *Listen) []Key[T] {
+	return []Key[T]{
+		textKey("listen", "peers", "", listenRule, "address for the system's own processes and the command line", func(t *T) *string { return &field(t).Peers }),
+		textKey("listen", "admin", "", listenRule, "address for metrics, health and the time line", func(t *T) *string { return &field(t).Admin }),
+	}
+}
+
+func memberKeys[T any](controls, entries func(*T) *[]model.Member) []Key[T] {
+	return []Key[T]{
+		memberKey("control", "zone and peers address of the control member NAME; one key each, equal in all processes", controls),
+		memberKey("entry", "zone and peers address of the entry process NAME; one key each, equal in all processes", entries),
+	}
+}
+
+func memberKey[T any](section, meaning string, field func(*T) *[]model.Member) Key[T] {
+	return Key[T]{
+		Section: section, Name: "member-" + family, Meaning: meaning,
+		Allowed: "zone@ip:port with an IP number and a port from 1 to 65535",
+		set: func(t *T, name, value string) bool {
+			m, ok := parseMember(name, value)
+			if ok {
+				*field(t) = append(*field(t), m)
+			}
+			return ok
+		},
+	}
+}
+
+func limitKeys() []Key[Entry] {
+	return []Key[Entry]{
+		intKey("limits", "max-header-bytes", "bytes", "65536", kib, 1024*kib, "largest header of a request; a larger one is refused with 431", func(e *Entry) *int { return &e.Limits.MaxHeaderBytes }),
+		intKey("limits", "max-body-bytes", "bytes", "67108864", kib, 1<<40, "largest body of a request; a larger one is refused with 413", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }),
+		intKey("limits", "body-read-ms", "ms", "30000", 10, 10*clock.Minute, "longest time to read the body of a request; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.BodyReadMillis }),
+		intKey("limits", "default-timeout-ms", "ms", "5000", 1, 10*clock.Minute, "timeout of a request that names none; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.DefaultTimeoutMillis }),
+		intKey("limits", "max-timeout-ms", "ms", "60000", 1, 10*clock.Minute, "longest timeout that a request may ask for", func(e *Entry) *clock.Millis { return &e.Limits.MaxTimeoutMillis }),
+		leaseKey(func(e *Entry) *clock.Millis { return &e.Limits.LeaseMillis }),
+		intKey("limits", "queue-ring", "asks", "4096", 16, 1<<20, "capacity of the dispatcher's input ring; asks beyond it are refused", func(e *Entry) *int { return &e.Limits.QueueRing }),
+		intKey("limits", "retry-percent", "%", "10", 0, 100, "retries of this process as a share of the first tries", func(e *Entry) *int { return &e.Limits.RetryPercent }),
+		drainKey(func(e *Entry) *clock.Millis { return &e.Limits.DrainMillis }),
+	}
+}
+
+func leaseKey[T any](field func(*T) *clock.Millis) Key[T] {
+	return intKey("limits", "lease-ms", "ms", "3000", 100, clock.Minute, "lease of an announcement; equal in all processes", field)
+}
+
+func drainKey[T any](field func(*T) *clock.Millis) Key[T] {
+	return intKey("limits", "drain-ms", "ms", "65000", 1, clock.Hour, "bound on a graceful stop; at least max-timeout-ms in an entry process", field)
+}
+
+func commonKeys[T any](level func(*T) *string, capacity func(*T) *int) []Key[T] {
+	return []Key[T]{
+		textKey("log", "level", "info", wordRule("debug", "info", "warn", "error"), "least severe level that is logged", level),
+		intKey("events", "capacity", "events", "4096", 16, 1<<20, "time-line events kept; the oldest are dropped and counted", capacity),
+	}
+}
+
+func contractKeys() []Key[model.Contract] {
+	type contract = model.Contract
+	const many = 1_000_000
+	return []Key[contract]{
+		textKey("contract", "customer", "", nameRule, "holder of the contract", func(c *contract) *model.Customer { return &c.Customer }),
+		{
+			Section: "contract", Name: "covers", Allowed: "instance, rack, zone",
+			Meaning: "largest failure domain whose loss leaves the capacity whole",
+			set: func(c *contract, _, value string) (ok bool) {
+				c.Covers, ok = model.ParseDomain(value)
+				return ok
+			},
+		},
+		intKey("contract", "concurrency", "requests", "0", 0, many, "requests in flight over all entry processes; 0 derives it from the slots of the instances", func(c *contract) *int { return &c.Concurrency }),
+		intKey("contract", "queue", "requests", "0", 0, many, "requests that may wait over all entry processes", func(c *contract) *int { return &c.Queue }),
+		intKey("contract", "retry-percent", "%", "10", 0, 100, "retries as a share of the first tries", func(c *contract) *int { return &c.RetryPercent }),
+		{
+			Section: "pool " + family, Name: "instances", Unit: "instances", Allowed: "1 to 100000",
+			Meaning: "instances promised in the pool NAME; one section per pool",
+			set: func(c *contract, name, value string) bool {
+				n, err := strconv.Atoi(value)
+				c.Pools = append(c.Pools, model.PoolShare{Pool: model.Pool(name), Instances: n})
+				return err == nil && n >= 1 && n <= 100_000
+			},
+		},
+		intKey("disruption", "max-unavailable", "instances", "", 0, 100_000, "the customer's instances that may be out of service at once, planned and unplanned together; below the sum of the promised instances", func(c *contract) *int { return &c.MaxUnavailable }),
+		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over instances, that one window allows; at most window-ms times the promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
+		intKey("disruption", "window-ms", "ms", "", clock.Second, 366*clock.Day, "length of the window of budget-ms", func(c *contract) *clock.Millis { return &c.WindowMillis }),
+		intKey("spare", "instances", "instances", "0", 0, 100_000, "idle instances reserved for the customer", func(c *contract) *int { return &c.Spare }),
+		optional(textKey("spare", "pool", "", nameRule, "pool in which the spare instances wait; not a promised pool", func(c *contract) *model.Pool { return &c.SparePool })),
+		intKey("quota", "milli-cores", "1/1000 core", "0", 0, 1_000_000_000, "processor time that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.MilliCores }),
+		intKey("quota", "memory-mib", "MiB", "0", 0, 1_000_000_000, "memory that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.MemoryMiB }),
+		intKey("quota", "accelerators", "accelerators", "0", 0, many, "accelerators that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.Accelerators }),
+	}
+}
