--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -5,7 +5,6 @@
 	"sort"
 
 	"camphorridge/core/state/clock"
-	"camphorridge/core/state/fleet"
 	"camphorridge/core/state/model"
 )
 
@@ -16,15 +15,18 @@
 type Wait struct {
 	Instance model.InstanceID
 	// For lists the entry processes that have not confirmed the release.
-	For   []model.Process
-	Since clock.Millis
+	For    []model.Process
+	Since  clock.Millis
+	Reason string
 }
 
 // Enrol returns the steps that make announced instances part of the fleet.
-func Enrol(s *fleet.State, g *Registry) []model.InstanceStep {
+func Enrol(t model.Table, g *Registry) []model.InstanceStep {
 	var steps []model.InstanceStep
-	for id, l := range g.Live {
-		if _, known := s.Instances[id]; known || l.Announcement.State != model.AnnounceServing {
+	for id := range g.Fresh {
+		l, live := g.Live[id]
+		_, known := t.Instances[id]
+		if !live || known || l.Announcement.State != model.AnnounceServing {
 			continue
 		}
 		a := l.Announcement
@@ -37,32 +39,43 @@
 	return first(steps)
 }
 
-// FinishReleases returns the steps of releases that every entry process of
-// the instance's zone confirmed, and the waits of the others.
-func FinishReleases(s *fleet.State, g *Registry, entries []model.Member) ([]model.InstanceStep, []Wait) {
-	var steps []model.InstanceStep
-	var waits []Wait
-	for _, i := range s.Instances {
-		if i.Phase != model.PhaseReleasing {
-			continue
-		}
-		missing := g.Unconfirmed(entries, i.Zone, i.Version)
-		if len(missing) > 0 {
-			waits = append(waits, Wait{Instance: i.ID, For: missing, Since: i.Since})
-			continue
+// FinishRelease returns the step that ends a release, or the wait when an
+// entry process of the instance's zone has not confirmed it.
+func FinishRelease(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
+	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
+		return model.InstanceStep{}, &Wait{
+			Instance: i.ID, For: missing, Since: i.Since,
+			Reason: "an entry process has not confirmed the release",
 		}
-		next := i
-		if i.Target == i.Pool {
-			next.Phase = model.PhaseMaintenance
-		} else {
-			next.Phase = model.PhaseServing
-			next.Pool = i.Target
-			next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
+	}
+	next := i
+	if i.Target == i.Pool {
+		next.Phase = model.PhaseMaintenance
+		next.Incarnation = g.Live[i.ID].Announcement.Incarnation
+	} else {
+		next.Phase = model.PhaseServing
+		next.Pool = i.Target
+		next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
+	}
+	return model.InstanceStep{Base: i.Version, Instance: next}, nil
+}
+
+// FinishMaintenance returns the step that puts an instance back once it
+// announced itself again after its reboot, or the wait until then.
+func FinishMaintenance(i model.Instance, g *Registry, now clock.Millis) (model.InstanceStep, *Wait) {
+	l, live := g.Live[i.ID]
+	if !live || l.Announcement.Incarnation <= i.Incarnation || l.Announcement.State != model.AnnounceServing {
+		return model.InstanceStep{}, &Wait{
+			Instance: i.ID, Since: i.Since,
+			Reason: "the instance has not announced itself since its reboot",
 		}
-		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
-	sort.Slice(waits, func(a, b int) bool { return waits[a].Instance < waits[b].Instance })
-	return first(steps), waits
+	next := i
+	next.Phase = model.PhaseServing
+	next.Target = i.Pool
+	next.Maintained = now
+	next.Reason = "maintained"
+	return model.InstanceStep{Base: i.Version, Instance: next}, nil
 }
 
 // first orders the steps by instance, so that equal states give equal
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -32,6 +32,9 @@
 	// Live holds, for each instance, the announcement and the entry processes
 	// that hear it.
 	Live map[model.InstanceID]LiveInstance
+	// Fresh holds the instances that were announced since the last Settle and
+	// may have to be enrolled, so that a pass costs what changed.
+	Fresh map[model.InstanceID]bool
 }
 
 // LiveInstance is an instance that at least one entry process hears.
@@ -47,6 +50,7 @@
 	return &Registry{
 		Processes: map[model.Process]ProcessReport{},
 		Live:      map[model.InstanceID]LiveInstance{},
+		Fresh:     map[model.InstanceID]bool{},
 	}
 }
 
@@ -84,6 +88,7 @@
 	}
 	l.Heard[p] = true
 	g.Live[a.Instance] = l
+	g.Fresh[a.Instance] = true
 }
 
 func (g *Registry) lose(p model.Process, id model.InstanceID) {
@@ -119,6 +124,17 @@
 	return missing
 }
 
+// Settle forgets the fresh instances that are part of the fleet.
+func (g *Registry) Settle(t model.Table) {
+	for id := range g.Fresh {
+		_, known := t.Instances[id]
+		_, live := g.Live[id]
+		if known || !live {
+			delete(g.Fresh, id)
+		}
+	}
+}
+
 // List returns the reports in order of the processes' names.
 func (g *Registry) List() []ProcessReport {
 	out := make([]ProcessReport, 0, len(g.Processes))
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -143,6 +143,9 @@
 	Connections int
 	// Reason says why the last phase was entered.
 	Reason string
+	// Incarnation is the upstream's incarnation when the instance was handed
+	// to the platform; a higher one shows that it was rebooted.
+	Incarnation uint64
 	// Maintained is the time of the last finished maintenance; 0 for never.
 	Maintained clock.Millis
 	// Since is the time at which the phase was entered, by the leader's
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -87,6 +87,7 @@
 		Connections:  int64(i.Connections),
 		Reason:       text(i.Reason),
 		MaintainedMs: int64(i.Maintained),
+		Incarnation:  i.Incarnation,
 		SinceMs:      int64(i.Since),
 		Version:      uint64(i.Version),
 	}
@@ -113,6 +114,7 @@
 		Connections: int(w.GetConnections()),
 		Reason:      w.GetReason(),
 		Maintained:  clock.Millis(w.GetMaintainedMs()),
+		Incarnation: w.GetIncarnation(),
 		Since:       clock.Millis(w.GetSinceMs()),
 		Version:     model.Version(w.GetVersion()),
 	}, nil
