--- /dev/null
+++ b/core/state/trail/explain.go
@@ -0,0 +1,189 @@
+package trail
+
+import (
+	"cmp"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+const (
+	// MaxHappened bounds the events of an explanation; the newest are kept.
+	MaxHappened = 200
+	// SilentAfter is the time without a report after which a process is taken
+	// for silent; processes report once in a second.
+	SilentAfter = 3 * clock.Second
+)
+
+// Subject is the kind of object that is explained.
+type Subject string
+
+// The subjects.
+const (
+	SubjectCustomer Subject = "customer"
+	SubjectInstance Subject = "instance"
+	SubjectRequest  Subject = "request"
+)
+
+// Process is what the control group knows of an entry process.
+type Process struct {
+	Name    model.Process
+	Zone    model.Zone
+	Version model.Version
+	// Drained is the version up to which the process has carried out every
+	// release.
+	Drained model.Version
+	// Seen is the time of its last report; 0 for never.
+	Seen clock.Millis
+}
+
+// Objects is the present state that explanations refer to.
+type Objects struct {
+	Now         clock.Millis
+	Contracts   map[model.Customer]model.Contract
+	Instances   map[model.InstanceID]model.Instance
+	Maintenance map[string]model.Maintenance
+	// Processes lists the configured entry processes, those that never
+	// reported included.
+	Processes []Process
+}
+
+// Explanation says what happened to a subject, what bound it and what would
+// unblock it.
+type Explanation struct {
+	Subject Subject
+	Name    string
+	Now     clock.Millis
+	// Known is false when neither the objects nor the events mention the
+	// subject.
+	Known bool
+	// Contract and Pools are set for a customer, Instance for an instance.
+	Contract model.Contract
+	Pools    []PoolState
+	Instance model.Instance
+	// Happened lists the events of the subject itself, oldest first; Omitted
+	// counts the older ones left out.
+	Happened []model.Event
+	Omitted  int
+	// Context lists the events of the same instances around a request.
+	Context []model.Event
+	// Bounds lists the limits that bound, the most recent first.
+	Bounds []Bound
+	// Blocks lists what stands in the way now.
+	Blocks []Block
+}
+
+// PoolState compares what a contract promises in a pool with what is there.
+type PoolState struct {
+	Pool model.Pool
+	// Spare says that the instances are reserved and not promised for work.
+	Spare       bool
+	Promised    int
+	Serving     int
+	Releasing   int
+	Maintenance int
+}
+
+// Bound sums up the events in which one limit bound.
+type Bound struct {
+	Limit string
+	Kind  model.EventKind
+	Count int
+	First model.Stamp
+	Last  model.Stamp
+	// Detail is that of the last event.
+	Detail string
+	Advice Advice
+}
+
+// BlockKind tells the obstacles apart.
+type BlockKind string
+
+// The kinds of obstacle.
+const (
+	// BlockConfirm: an entry process has not confirmed a release.
+	BlockConfirm BlockKind = "release-not-confirmed"
+	// BlockReturn: the instance has not come back from the platform.
+	BlockReturn BlockKind = "not-returned"
+	// BlockBudget: a customer's limit of unavailable instances is reached.
+	BlockBudget BlockKind = "disruption-limit"
+	// BlockWave: declared maintenance has not reached the instance.
+	BlockWave BlockKind = "maintenance-due"
+	// BlockGone: the instance was last reported as gone.
+	BlockGone BlockKind = "not-announced"
+	// BlockEjected: the instance was last ejected for failures.
+	BlockEjected BlockKind = "ejected"
+	// BlockCapacity: fewer instances serve than are promised.
+	BlockCapacity BlockKind = "capacity-missing"
+	// BlockContract: there is no contract.
+	BlockContract BlockKind = "no-contract"
+)
+
+// Block is one obstacle. Empty fields do not apply.
+type Block struct {
+	Kind        BlockKind
+	Instance    model.InstanceID
+	Pool        model.Pool
+	Process     model.Process
+	Customer    model.Customer
+	Maintenance string
+	// Limit names the limit that binds, with its value.
+	Limit string
+	Value int64
+	// Missing is the number of instances that are lacking.
+	Missing  int
+	Since    clock.Millis
+	Deadline clock.Millis
+	Advice   Advice
+}
+
+// collect adds the events that match to the explanation, and the limits that
+// bound in them.
+func (x *Explanation) collect(events []model.Event, match func(model.Event) bool) {
+	type key struct {
+		limit string
+		kind  model.EventKind
+	}
+	at := map[key]int{}
+	for _, e := range events {
+		if !match(e) {
+			continue
+		}
+		x.Happened = append(x.Happened, e)
+		if e.Limit == "" {
+			continue
+		}
+		k := key{e.Limit, e.Kind}
+		i, ok := at[k]
+		if !ok {
+			i = len(x.Bounds)
+			at[k] = i
+			x.Bounds = append(x.Bounds, Bound{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
+		}
+		b := &x.Bounds[i]
+		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
+	}
+	x.Known = x.Known || len(x.Happened) > 0
+	if over := len(x.Happened) - MaxHappened; over > 0 {
+		x.Omitted = over
+		x.Happened = slices.Clone(x.Happened[over:])
+	}
+	slices.SortStableFunc(x.Bounds, func(a, b Bound) int {
+		return cmp.Or(cmp.Compare(b.Last.Wall, a.Last.Wall), cmp.Compare(b.Last.Count, a.Last.Count))
+	})
+}
+
+// sorted returns the values of a map in the order of their keys.
+func sorted[K cmp.Ordered, V any](m map[K]V) []V {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	out := make([]V, 0, len(m))
+	for _, k := range keys {
+		out = append(out, m[k])
+	}
+	return out
+}
--- /dev/null
+++ b/core/state/trail/explain_test.go
@@ -0,0 +1,128 @@
+package trail_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/trail"
+)
+
+const now = clock.Millis(100_000)
+
+func objects() trail.Objects {
+	instances := map[model.InstanceID]model.Instance{}
+	for _, i := range []model.Instance{
+		{ID: "i1", Zone: "a", Pool: "log", Phase: model.PhaseServing},
+		{ID: "i2", Zone: "a", Pool: "log", Target: "fees", Phase: model.PhaseReleasing, Version: 40, Since: 90_000},
+		{ID: "i3", Zone: "b", Pool: "log", Target: "log", Phase: model.PhaseMaintenance, Since: 80_000},
+		{ID: "i4", Zone: "b", Pool: "log", Phase: model.PhaseServing},
+	} {
+		instances[i.ID] = i
+	}
+	return trail.Objects{
+		Now: now, Instances: instances,
+		Contracts: map[model.Customer]model.Contract{
+			"pomar": {Customer: "pomar", Pools: []model.PoolShare{{Pool: "log", Instances: 4}}, MaxUnavailable: 2},
+		},
+		Maintenance: map[string]model.Maintenance{
+			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, Declared: 70_000, Deadline: 200_000},
+		},
+		Processes: []trail.Process{
+			{Name: "e1", Zone: "a", Drained: 39, Seen: now - clock.Second},
+			{Name: "e2", Zone: "a", Drained: 10, Seen: 50_000},
+			{Name: "e3", Zone: "a", Drained: 40, Seen: now},
+			{Name: "e4", Zone: "b", Drained: 0, Seen: now},
+		},
+	}
+}
+
+func events() []model.Event {
+	at := func(wall clock.Millis, e model.Event) model.Event {
+		e.Stamp, e.Process = model.Stamp{Wall: wall}, "e1"
+		return e
+	}
+	return trail.Merge([]model.Event{
+		at(95_000, model.Event{Kind: model.EventRefused, Customer: "pomar", Request: "r1", Limit: "queue full", Detail: "first"}),
+		at(96_000, model.Event{Kind: model.EventRefused, Customer: "pomar", Request: "r2", Limit: "queue full", Detail: "second"}),
+		at(97_000, model.Event{Kind: model.EventUnknown, Customer: "pomar", Request: "r3", Instance: "i4"}),
+		at(98_000, model.Event{Kind: model.EventEjected, Instance: "i4", Limit: "failures"}),
+		at(50_000, model.Event{Kind: model.EventUpstreamUp, Instance: "i4"}),
+		at(98_500, model.Event{Kind: model.EventRefused, Customer: "other", Limit: "unheard of"}),
+	})
+}
+
+// TestExplainCustomer guards against a limit or an obstacle that the
+// explanation of a customer leaves out or takes from another customer.
+func TestExplainCustomer(t *testing.T) {
+	x := trail.ExplainCustomer(objects(), events(), "pomar")
+	assert.Assert(t, x.Known)
+	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
+	assert.Equal(t, len(x.Happened), 3)
+	assert.DeepEqual(t, x.Bounds, []trail.Bound{{
+		Limit: "queue full", Kind: model.EventRefused, Count: 2, Detail: "second",
+		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
+		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
+	}})
+	assert.Equal(t, x.Blocks[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
+	var kinds []trail.BlockKind
+	for _, b := range x.Blocks {
+		kinds = append(kinds, b.Kind)
+	}
+	assert.DeepEqual(t, kinds, []trail.BlockKind{
+		trail.BlockCapacity, trail.BlockBudget, trail.BlockConfirm, trail.BlockConfirm,
+		trail.BlockReturn, trail.BlockEjected,
+	})
+	none := trail.ExplainCustomer(objects(), events(), "other")
+	assert.Assert(t, none.Known, "events name the customer")
+	assert.Equal(t, none.Blocks[0].Kind, trail.BlockContract)
+	assert.Equal(t, none.Bounds[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
+}
+
+// TestExplainInstance guards against naming the wrong entry process for a
+// release that waits, and against advice to wait for a silent process.
+func TestExplainInstance(t *testing.T) {
+	x := trail.ExplainInstance(objects(), events(), "i2")
+	assert.DeepEqual(t, x.Blocks, []trail.Block{
+		{
+			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
+			Advice: trail.Advice{Action: trail.ActionWait, Target: "e1"},
+		},
+		{
+			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e2", Since: 90_000,
+			Advice: trail.Advice{Action: trail.ActionProcess, Target: "e2"},
+		},
+	})
+	due := trail.ExplainInstance(objects(), events(), "i1").Blocks
+	assert.Equal(t, len(due), 2)
+	assert.Equal(t, due[0].Maintenance, "kernel")
+	assert.Equal(t, due[1].Kind, trail.BlockBudget)
+	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
+	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Known)
+}
+
+// TestExplainRequest guards against an unknown outcome without the events of
+// the upstream around it, and against events from long before.
+func TestExplainRequest(t *testing.T) {
+	x := trail.ExplainRequest(objects(), events(), "r3")
+	assert.Equal(t, len(x.Happened), 1)
+	assert.Equal(t, len(x.Context), 1)
+	assert.Equal(t, x.Context[0].Kind, model.EventEjected)
+	assert.Equal(t, x.Blocks[0].Kind, trail.BlockEjected)
+	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Known)
+}
+
+// TestExplainIsBounded guards against an explanation that grows with the
+// length of the time line.
+func TestExplainIsBounded(t *testing.T) {
+	var many []model.Event
+	for i := range 3 * trail.MaxHappened {
+		many = append(many, model.Event{Stamp: model.Stamp{Wall: clock.Millis(i)}, Customer: "pomar", Seq: uint64(i)})
+	}
+	x := trail.ExplainCustomer(objects(), many, "pomar")
+	assert.Equal(t, len(x.Happened), trail.MaxHappened)
+	assert.Equal(t, x.Omitted, 2*trail.MaxHappened)
+	assert.Equal(t, x.Happened[0].Seq, uint64(2*trail.MaxHappened))
+}
--- /dev/null
+++ b/core/state/trail/subject.go
@@ -0,0 +1,222 @@
+package trail
+
+import (
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// contextSpan is how long before and after a request the events of its
+// instances belong to the explanation; it is the default timeout of a request.
+const contextSpan = 5 * clock.Second
+
+// ExplainCustomer explains a customer. The events must be merged.
+func ExplainCustomer(o Objects, events []model.Event, name model.Customer) Explanation {
+	c, known := o.Contracts[name]
+	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Known: known, Contract: c}
+	x.collect(events, func(e model.Event) bool { return e.Customer == name })
+	if !known {
+		x.Blocks = []Block{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
+		return x
+	}
+	instances := sorted(o.Instances)
+	for _, share := range c.Pools {
+		x.addPool(share, false, instances)
+	}
+	if c.Spare > 0 {
+		x.addPool(model.PoolShare{Pool: c.SparePool, Instances: c.Spare}, true, instances)
+	}
+	if b, reached := disruption(o, c); reached {
+		x.Blocks = append(x.Blocks, b)
+	}
+	latest := latestUpstreams(events)
+	for _, i := range instances {
+		if holds(c, i.Pool) {
+			x.Blocks = append(x.Blocks, instanceBlocks(o, latest, i)...)
+		}
+	}
+	return x
+}
+
+// ExplainInstance explains an instance. The events must be merged.
+func ExplainInstance(o Objects, events []model.Event, id model.InstanceID) Explanation {
+	i, known := o.Instances[id]
+	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Known: known, Instance: i}
+	x.collect(events, func(e model.Event) bool { return e.Instance == id })
+	if !known {
+		return x
+	}
+	x.Blocks = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
+	return x
+}
+
+// ExplainRequest explains a request by its identity. The events must be
+// merged.
+func ExplainRequest(o Objects, events []model.Event, id string) Explanation {
+	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
+	x.collect(events, func(e model.Event) bool { return e.Request == id })
+	if len(x.Happened) == 0 {
+		return x
+	}
+	from := x.Happened[0].Stamp.Wall - contextSpan
+	to := x.Happened[len(x.Happened)-1].Stamp.Wall + contextSpan
+	involved := map[model.InstanceID]bool{}
+	for _, e := range x.Happened {
+		if e.Instance != "" {
+			involved[e.Instance] = true
+		}
+	}
+	for _, e := range events {
+		if involved[e.Instance] && e.Request != id && e.Stamp.Wall >= from && e.Stamp.Wall <= to {
+			x.Context = append(x.Context, e)
+		}
+	}
+	if over := len(x.Context) - MaxHappened; over > 0 {
+		x.Context = slices.Clone(x.Context[over:])
+	}
+	latest := latestUpstreams(events)
+	for _, i := range sorted(o.Instances) {
+		if involved[i.ID] {
+			x.Blocks = append(x.Blocks, instanceBlocks(o, latest, i)...)
+		}
+	}
+	return x
+}
+
+// addPool compares a pool with what the contract promises in it. Instances
+// that come back from maintenance by themselves call for no action.
+func (x *Explanation) addPool(share model.PoolShare, spare bool, instances []model.Instance) {
+	p := PoolState{Pool: share.Pool, Promised: share.Instances, Spare: spare}
+	returning := 0
+	for _, i := range instances {
+		if i.Pool != share.Pool {
+			continue
+		}
+		switch i.Phase {
+		case model.PhaseServing:
+			p.Serving++
+		case model.PhaseReleasing:
+			p.Releasing++
+		case model.PhaseMaintenance:
+			p.Maintenance++
+		}
+		if i.Target == i.Pool && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
+			returning++
+		}
+	}
+	x.Pools = append(x.Pools, p)
+	missing := p.Promised - p.Serving
+	if missing <= 0 {
+		return
+	}
+	b := Block{
+		Kind: BlockCapacity, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
+		Advice: Advice{ActionWait, string(p.Pool)},
+	}
+	if missing > returning {
+		b.Advice.Action = ActionAddInstances
+	}
+	x.Blocks = append(x.Blocks, b)
+}
+
+func holds(c model.Contract, p model.Pool) bool {
+	return slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
+}
+
+// disruption reports whether the customer's limit of unavailable instances is
+// reached by released instances and those in maintenance.
+func disruption(o Objects, c model.Contract) (b Block, reached bool) {
+	out := 0
+	for _, i := range o.Instances {
+		if holds(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
+			out++
+		}
+	}
+	b = Block{
+		Kind: BlockBudget, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
+		Advice: adviceFor("max-unavailable"),
+	}
+	if out > 0 {
+		b.Advice = Advice{ActionWait, "max-unavailable"}
+	}
+	return b, out >= c.MaxUnavailable
+}
+
+// latestUpstreams returns, for each instance, the last event that says
+// whether it is there and fit for work.
+func latestUpstreams(events []model.Event) map[model.InstanceID]model.Event {
+	latest := map[model.InstanceID]model.Event{}
+	for _, e := range events {
+		switch e.Kind {
+		case model.EventUpstreamUp, model.EventUpstreamGone, model.EventUpstreamLeft,
+			model.EventEjected, model.EventRestored:
+			latest[e.Instance] = e
+		}
+	}
+	return latest
+}
+
+// instanceBlocks returns what keeps an instance from serving or moving on.
+func instanceBlocks(o Objects, latest map[model.InstanceID]model.Event, i model.Instance) []Block {
+	var blocks []Block
+	switch i.Phase {
+	case model.PhaseReleasing:
+		for _, p := range o.Processes {
+			if p.Zone == i.Zone && p.Drained < i.Version {
+				blocks = append(blocks, Block{
+					Kind: BlockConfirm, Instance: i.ID, Pool: i.Pool, Process: p.Name,
+					Since: i.Since, Advice: confirmAdvice(o, p),
+				})
+			}
+		}
+	case model.PhaseMaintenance:
+		blocks = append(blocks, Block{
+			Kind: BlockReturn, Instance: i.ID, Pool: i.Pool, Since: i.Since,
+			Advice: instanceAdvice(ActionPlatform, i.ID),
+		})
+	case model.PhaseServing:
+		e, ok := latest[i.ID]
+		if ok && e.Kind == model.EventEjected {
+			blocks = append(blocks, Block{
+				Kind: BlockEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
+				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepair, i.ID),
+			})
+		}
+		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
+			blocks = append(blocks, Block{
+				Kind: BlockGone, Instance: i.ID, Pool: i.Pool, Process: e.Process,
+				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
+			})
+		}
+	}
+	return blocks
+}
+
+// waveBlocks returns the declared maintenance that has not reached a serving
+// instance, with the customers whose limits hold it up.
+func waveBlocks(o Objects, i model.Instance) []Block {
+	if i.Phase != model.PhaseServing {
+		return nil
+	}
+	var blocks []Block
+	for _, m := range sorted(o.Maintenance) {
+		if !m.Selector.Matches(i) || i.Maintained >= m.Declared {
+			continue
+		}
+		blocks = append(blocks, Block{
+			Kind: BlockWave, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
+			Since: m.Declared, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
+		})
+	}
+	if len(blocks) == 0 {
+		return nil
+	}
+	for _, c := range sorted(o.Contracts) {
+		if b, reached := disruption(o, c); reached && holds(c, i.Pool) {
+			b.Instance, b.Pool = i.ID, i.Pool
+			blocks = append(blocks, b)
+		}
+	}
+	return blocks
+}
--- /dev/null
+++ b/core/state/trail/trail_test.go
@@ -0,0 +1,86 @@
+package trail_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/trail"
+)
+
+// TestMergeIsCausal guards against an effect that the time line shows before
+// its cause when the clocks of the processes differ.
+func TestMergeIsCausal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "processes")
+		hybrids := make([]trail.Hybrid, n)
+		clocks := make([]clock.Millis, n)
+		for i := range clocks {
+			clocks[i] = 1_000_000 + clock.Millis(rapid.IntRange(0, int(trail.MaxAhead/4)).Draw(t, "skew"))
+		}
+		lists := make([][]model.Event, n)
+		causes := map[model.Event]model.Event{}
+		record := func(p int) model.Event {
+			e := model.Event{Process: model.Process(rune('a' + p)), Seq: uint64(len(lists[p]) + 1), Stamp: hybrids[p].Next(clocks[p])}
+			lists[p] = append(lists[p], e)
+			return e
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			from, to := rapid.IntRange(0, n-1).Draw(t, "from"), rapid.IntRange(0, n-1).Draw(t, "to")
+			clocks[from] += clock.Millis(rapid.IntRange(0, 3).Draw(t, "passed"))
+			sent := record(from)
+			assert.Assert(t, hybrids[to].Observe(sent.Stamp, clocks[to]))
+			causes[record(to)] = sent
+		}
+		position := map[model.Event]int{}
+		for i, e := range trail.Merge(append(lists, lists[0])...) {
+			position[e] = i + 1
+		}
+		for effect, cause := range causes {
+			assert.Assert(t, position[cause] > 0 && position[cause] < position[effect], "%v before %v", effect, cause)
+		}
+		for _, list := range lists {
+			for i := 1; i < len(list); i++ {
+				assert.Assert(t, position[list[i-1]] < position[list[i]])
+			}
+		}
+	})
+}
+
+// TestHybridBounds guards against a machine with a wrong clock that moves the
+// stamps of others, and against a counter that wraps and goes back.
+func TestHybridBounds(t *testing.T) {
+	var h trail.Hybrid
+	assert.Assert(t, !h.Observe(model.Stamp{Wall: 1000 + trail.MaxAhead + 1}, 1000))
+	assert.Equal(t, h.Rejected, int64(1))
+	assert.Equal(t, h.Next(1000), model.Stamp{Wall: 1000})
+	full := model.Stamp{Wall: 1000, Count: math.MaxUint32}
+	assert.Assert(t, h.Observe(full, 1000))
+	assert.Assert(t, full.Less(h.Next(1000)))
+	assert.Assert(t, full.Less(h.Next(900)), "the clock went back")
+}
+
+// TestLogKeepsNewest guards against a log that grows without bound, loses its
+// newest events or miscounts what it dropped.
+func TestLogKeepsNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 20).Draw(t, "capacity")
+		total := rapid.IntRange(0, 60).Draw(t, "total")
+		since := rapid.IntRange(0, 70).Draw(t, "since")
+		l := trail.NewLog(capacity)
+		for i := range total {
+			l.Add(model.Event{Seq: uint64(i + 1)})
+		}
+		first := max(total-capacity, 0)
+		assert.Equal(t, l.Dropped, int64(first))
+		got := l.Since(uint64(since))
+		assert.Equal(t, len(got), max(total-max(first, since), 0))
+		for i, e := range got {
+			assert.Equal(t, e.Seq, uint64(max(first, since)+i+1))
+		}
+	})
+}
