Add the twirp servers for control, consensus and the time line

Cause: entry processes and operators reach the control group through them. Change: handlers that map messages and errors to calls of the duties.

--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -44,6 +44,7 @@
 	control   wirepb.Control
 	neighbour wirepb.Neighbour
 	consensus wirepb.Consensus
+	timeline  wirepb.Timeline
 }
 
 // NewClient returns a client in the name of the process self.
@@ -74,6 +75,7 @@
 			control:   wirepb.NewControlProtobufClient(base, c.http),
 			neighbour: wirepb.NewNeighbourProtobufClient(base, c.http),
 			consensus: wirepb.NewConsensusProtobufClient(base, c.http),
+			timeline:  wirepb.NewTimelineProtobufClient(base, c.http),
 		}
 		c.remotes[address] = r
 	}
--- /dev/null
+++ b/io/trans/peers/consensus.go
@@ -0,0 +1,99 @@
+package peers
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"camphorridge/core/coord/boot"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+	"camphorridge/io/proto/codec"
+	"camphorridge/io/proto/wirepb"
+)
+
+// ConsensusServer serves the messages between control members.
+type ConsensusServer[G Group] struct {
+	Group  G
+	Stamps Stamps
+}
+
+// Step passes messages to the consensus duty.
+func (s *ConsensusServer[G]) Step(ctx context.Context, r *wirepb.StepRequest) (*wirepb.StepResponse, error) {
+	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	all := make([]raft.Message, 0, len(r.GetMessages()))
+	for _, w := range r.GetMessages() {
+		m, err := codec.MessageFromWire(w)
+		if err != nil {
+			return nil, twirp.InvalidArgumentError("messages", err.Error())
+		}
+		all = append(all, m)
+	}
+	if err := s.Group.Step(ctx, all); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &wirepb.StepResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
+}
+
+// Hello says who this process is.
+func (s *ConsensusServer[G]) Hello(_ context.Context, r *wirepb.HelloRequest) (*wirepb.HelloResponse, error) {
+	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	h := s.Group.Hello()
+	return &wirepb.HelloResponse{
+		Name: string(h.Name), Id: uint64(h.ID), Initialised: h.Initialised,
+		Stamp: codec.StampToWire(s.Stamps.Next()),
+	}, nil
+}
+
+// Hello asks a control process who it is.
+func (c *Client) Hello(ctx context.Context, m model.Member) (boot.Hello, error) {
+	resp, err := c.remote(m.Address).consensus.Hello(ctx, &wirepb.HelloRequest{Stamp: c.stamp()})
+	if err != nil {
+		return boot.Hello{}, c.failed("hello "+string(m.Name), err)
+	}
+	c.observe(resp.GetStamp())
+	return boot.Hello{
+		Name: model.Process(resp.GetName()), ID: raft.MemberID(resp.GetId()),
+		Initialised: resp.GetInitialised(),
+	}, nil
+}
+
+// TimelineServer serves the events of one process.
+type TimelineServer struct {
+	// Events returns the events after a sequence number and the number of
+	// events that were dropped.
+	Events func(since uint64) (events []model.Event, dropped int64)
+}
+
+// eventsServer adapts TimelineServer to the twirp service.
+type eventsServer struct{ TimelineServer }
+
+func (s eventsServer) Events(_ context.Context, r *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
+	events, dropped := s.TimelineServer.Events(r.GetSince())
+	w := &wirepb.EventsResponse{Dropped: dropped}
+	for _, e := range events {
+		w.Events = append(w.Events, codec.EventToWire(e))
+	}
+	return w, nil
+}
+
+// maxPeerBytes bounds a request from another process; a chunk of a snapshot
+// and a batch of log entries are far below it.
+const maxPeerBytes = 16 << 20
+
+// Mux joins the services of a process; nil ones are left out.
+func Mux(control wirepb.Control, consensus wirepb.Consensus, neighbour wirepb.Neighbour, t TimelineServer) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wirepb.TimelinePathPrefix, wirepb.NewTimelineServer(eventsServer{t}))
+	if control != nil {
+		mux.Handle(wirepb.ControlPathPrefix, wirepb.NewControlServer(control))
+	}
+	if consensus != nil {
+		mux.Handle(wirepb.ConsensusPathPrefix, wirepb.NewConsensusServer(consensus))
+	}
+	if neighbour != nil {
+		mux.Handle(wirepb.NeighbourPathPrefix, wirepb.NewNeighbourServer(neighbour))
+	}
+	return http.MaxBytesHandler(mux, maxPeerBytes)
+}
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -16,9 +16,9 @@
 	// TableAfter returns the delta after a version; ready is false while the
 	// process has no confirmed table.
 	TableAfter func(from model.Version) (d model.Delta, ready bool)
-	// Announce takes one announcement; its refusal is not passed back, as the
+	// Hear takes one announcement; its refusal is not passed back, as the
 	// upstream hears it from the process that it announced itself to.
-	Announce func(a model.Announcement)
+	Hear   func(a model.Announcement)
 	Stamps   Stamps
 }
 
@@ -43,7 +43,7 @@
 		all = append(all, a)
 	}
 	for _, a := range all {
-		s.Announce(a)
+		s.Hear(a)
 	}
 	return &wirepb.AnnounceResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
--- /dev/null
+++ b/io/trans/peers/operator.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/io/proto/codec"
+	"camphorridge/io/proto/wirepb"
+)
+
+// Overview is the leader's view of the system.
+type Overview struct {
+	Member      model.Process
+	Leader      model.Process
+	Role        string
+	Term        uint64
+	Commit      uint64
+	Version     model.Version
+	Now         clock.Millis
+	Contracts   []model.Contract
+	Instances   []model.Instance
+	Maintenance []model.Maintenance
+	Processes   []ProcessOverview
+	Controls    []model.Member
+	Entries     []model.Member
+	Waits       []WaitOverview
+}
+
+// ProcessOverview is what the leader heard of an entry process.
+type ProcessOverview struct {
+	Name        model.Process
+	Zone        model.Zone
+	Version     model.Version
+	Drained     model.Version
+	Since       clock.Millis
+	Seen        clock.Millis
+	Incarnation uint64
+}
+
+// WaitOverview says for whom the step of an instance waits.
+type WaitOverview struct {
+	Instance model.InstanceID
+	For      []string
+	Since    clock.Millis
+	Reason   string
+}
+
+// Status asks the leader for its view.
+func (l *Leader) Status(ctx context.Context) (Overview, error) {
+	var o Overview
+	err := l.call(ctx, "status", func(ctx context.Context, w wirepb.Control) error {
+		resp, err := w.Status(ctx, &wirepb.StatusRequest{})
+		if err != nil {
+			return err
+		}
+		o, err = overviewFromWire(resp)
+		return err
+	})
+	return o, err
+}
+
+func overviewFromWire(w *wirepb.StatusResponse) (Overview, error) {
+	o := Overview{
+		Member: model.Process(w.GetMember()), Leader: model.Process(w.GetLeader()), Role: w.GetRole(),
+		Term: w.GetTerm(), Commit: w.GetCommit(), Version: model.Version(w.GetVersion()),
+		Now: clock.Millis(w.GetNowMs()),
+	}
+	var err error
+	if o.Contracts, err = each(w.GetContracts(), codec.ContractFromWire); err != nil {
+		return o, err
+	}
+	if o.Instances, err = each(w.GetInstances(), codec.InstanceFromWire); err != nil {
+		return o, err
+	}
+	if o.Maintenance, err = each(w.GetMaintenance(), codec.MaintenanceFromWire); err != nil {
+		return o, err
+	}
+	for _, p := range w.GetProcesses() {
+		o.Processes = append(o.Processes, ProcessOverview{
+			Name: model.Process(p.GetName()), Zone: model.Zone(p.GetZone()),
+			Version: model.Version(p.GetVersion()), Drained: model.Version(p.GetDrained()),
+			Since: clock.Millis(p.GetSinceMs()), Seen: clock.Millis(p.GetSeenMs()),
+			Incarnation: p.GetIncarnation(),
+		})
+	}
+	for _, m := range w.GetControls() {
+		o.Controls = append(o.Controls, codec.MemberFromWire(m))
+	}
+	for _, m := range w.GetEntries() {
+		o.Entries = append(o.Entries, codec.MemberFromWire(m))
+	}
+	for _, x := range w.GetWaits() {
+		o.Waits = append(o.Waits, WaitOverview{
+			Instance: model.InstanceID(x.GetInstance()), For: x.GetFor(),
+			Since: clock.Millis(x.GetSinceMs()), Reason: x.GetReason(),
+		})
+	}
+	return o, nil
+}
+
+func each[A, B any](in []A, f func(A) (B, error)) ([]B, error) {
+	out := make([]B, 0, len(in))
+	for _, a := range in {
+		b, err := f(a)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, b)
+	}
+	return out, nil
+}
+
+// Events asks a process for its time line.
+func (c *Client) Events(ctx context.Context, address string) (events []model.Event, dropped int64, err error) {
+	resp, err := c.remote(address).timeline.Events(ctx, &wirepb.EventsRequest{})
+	if err != nil {
+		return nil, 0, c.failed("events of "+address, err)
+	}
+	events, err = each(resp.GetEvents(), codec.EventFromWire)
+	return events, resp.GetDropped(), err
+}
