Add the request path of an entry process

Change: packages admit, route, member (pure), entry (the dispatcher duty), uplink (one transport for each connection, sealed so that a request is written at most once) and front (handler and server for callers).

Result: one test passes a request through all of them under -race; the connection is reused. Other behaviour is not yet tested.

--- /dev/null
+++ b/core/coord/entry/dispatch.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/route"
+)
+
+// admit grants, queues or refuses an ask.
+func (d *Dispatcher[P, Q]) admit(now clock.Millis, a *ask) {
+	d.counts.Asks++
+	r := &a.request
+	if !d.ready {
+		d.refuse(a, Refusal{Kind: RefusalReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
+		return
+	}
+	line, why := d.gate.Line(r.Customer, r.Pool)
+	if why == admit.ReasonNone {
+		why = d.spend(line, r)
+	}
+	if why != admit.ReasonNone {
+		d.refuse(a, d.refusal(why, r.Pool))
+		return
+	}
+	if r.Deadline <= now {
+		d.refuse(a, d.refusal(admit.ReasonDeadline, r.Pool))
+		return
+	}
+	// While others wait that could run, the newcomer joins the queue, so that
+	// the choice stays fair.
+	if line.CanRun() && line.Len() == 0 && !d.gate.Waits(r.Pool) {
+		if u := d.router.Pick(now, r.Pool, r.Avoid); u != nil {
+			d.gate.Start(line)
+			d.grant(a, line, u)
+			return
+		}
+	}
+	d.queue(now, a, line)
+}
+
+// spend pays for a retry, or credits the budget for a first try.
+func (d *Dispatcher[P, Q]) spend(line *admit.Line[*ask], r *Request) admit.Reason {
+	if !r.Retry {
+		line.Account.Credit()
+		return admit.ReasonNone
+	}
+	if !line.Account.Retry() {
+		return admit.ReasonRetry
+	}
+	d.counts.Retries++
+	return admit.ReasonNone
+}
+
+func (d *Dispatcher[P, Q]) queue(now clock.Millis, a *ask, line *admit.Line[*ask]) {
+	r := &a.request
+	upstreams, slots := d.router.Routable(r.Pool)
+	switch {
+	case upstreams == 0:
+		d.refuse(a, noUpstream(r.Pool))
+		return
+	case slots == 0:
+		d.refuse(a, d.refusal(admit.ReasonShare, r.Pool))
+		return
+	}
+	room := max(d.router.Room(now, r.Pool), 1)
+	w, why := d.gate.Join(now, r.Deadline, line, room, a)
+	if why != admit.ReasonNone {
+		f := d.refusal(why, r.Pool)
+		f.RetryAfter = max(line.Wait(room), d.gate.Typical(r.Pool), 1)
+		d.refuse(a, f)
+		return
+	}
+	a.waiter = w
+	d.counts.Queued++
+}
+
+// pump starts waiters of a pool while upstreams have room.
+func (d *Dispatcher[P, Q]) pump(now clock.Millis, p model.Pool) {
+	for d.gate.Waits(p) {
+		u := d.router.Pick(now, p, "")
+		if u == nil {
+			return
+		}
+		w, late := d.gate.Next(now, p, d.late[:0])
+		d.late = late
+		d.refuseLate()
+		if w == nil {
+			d.router.Return(u)
+			return
+		}
+		w.Ref.waiter = nil
+		d.grant(w.Ref, w.Line(), u)
+	}
+}
+
+func (d *Dispatcher[P, Q]) grant(a *ask, line *admit.Line[*ask], u *route.Upstream) {
+	var at uint32
+	if n := len(d.free); n > 0 {
+		at = d.free[n-1]
+		d.free = d.free[:n-1]
+	} else {
+		at = uint32(len(d.flights))
+		d.flights = append(d.flights, flight{})
+	}
+	f := &d.flights[at]
+	f.line, f.upstream, f.generation = line, u, u.Generation
+	f.number++
+	d.counts.Grants++
+	a.grant = Grant{
+		Ticket: Ticket(f.number)<<32 | Ticket(at),
+		Upstream: Upstream{
+			Instance: u.Instance, Address: u.Address, Incarnation: u.Incarnation,
+			HealthPath: u.HealthPath, Connections: max(u.Connections, 1),
+		},
+	}
+	a.refusal = nil
+	a.reply <- struct{}{}
+}
+
+// end gives back what a grant held. A ticket that is not in flight is counted
+// and ignored.
+func (d *Dispatcher[P, Q]) end(now clock.Millis, m message) {
+	at, number := uint32(m.ticket), uint32(m.ticket>>32)
+	if int(at) >= len(d.flights) || d.flights[at].number != number || d.flights[at].line == nil {
+		d.counts.Strays++
+		return
+	}
+	d.counts.Dones++
+	f := d.flights[at]
+	d.flights[at].line, d.flights[at].upstream = nil, nil
+	d.free = append(d.free, at)
+	elapsed := m.elapsed
+	if m.outcome == OutcomeCancelled || m.outcome == OutcomeConnect || m.outcome == OutcomeBusy {
+		elapsed = -1
+	}
+	full := !f.line.CanRun()
+	d.gate.End(f.line, elapsed)
+	if d.router.End(now, f.upstream, f.generation, m.outcome) {
+		d.counts.Ejections++
+		d.event(model.Event{Kind: model.EventEjected, Instance: f.upstream.Instance, Pool: f.line.Pool, Limit: "failures"})
+	}
+	d.pump(now, f.line.Pool)
+	if full && f.line.Account.Waiting > 0 {
+		// The customer's share held up its waiters in other pools as well.
+		d.pumpAll(now)
+	}
+}
+
+// cancel takes an ask out of its queue. A grant that was made before is given
+// back by the caller.
+func (d *Dispatcher[P, Q]) cancel(a *ask) {
+	if a.waiter == nil {
+		return
+	}
+	a.waiter.Line().Leave(a.waiter)
+	d.counts.Cancelled++
+	d.refuse(a, Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"})
+}
+
+func (d *Dispatcher[P, Q]) refuseLate() {
+	for i, a := range d.late {
+		d.counts.Expired++
+		d.refuse(a, d.refusal(admit.ReasonDeadline, a.request.Pool))
+		d.late[i] = nil
+	}
+	d.late = d.late[:0]
+}
+
+func (d *Dispatcher[P, Q]) refuse(a *ask, r Refusal) {
+	d.counts.Refused++
+	a.waiter = nil
+	a.refusal = &r
+	a.reply <- struct{}{}
+}
+
+func noUpstream(p model.Pool) Refusal {
+	return Refusal{Kind: RefusalCapacity, Reason: "no upstream of " + string(p), RetryAfter: clock.Second}
+}
+
+func (d *Dispatcher[P, Q]) refusal(why admit.Reason, p model.Pool) Refusal {
+	r := Refusal{Reason: why.String(), RetryAfter: clock.Second}
+	switch why {
+	case admit.ReasonContract, admit.ReasonPool:
+		r.Kind, r.RetryAfter = RefusalUnknown, 0
+	case admit.ReasonDeadline:
+		r.Kind = RefusalDeadline
+	case admit.ReasonShare:
+		r.Kind = RefusalCapacity
+	default:
+		r.Kind = RefusalLimit
+	}
+	return r
+}
--- /dev/null
+++ b/core/coord/entry/dispatcher.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/member"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+	"camphorridge/core/state/route"
+)
+
+const (
+	// DefaultRing holds one message of each connection of a busy process.
+	DefaultRing = 4096
+	// batch is the number of messages handled under one reading of the clock.
+	batch = 64
+	// tickEvery bounds how late an expired waiter is answered.
+	tickEvery clock.Millis = 50
+)
+
+// messageKind tells the messages in the ring apart.
+type messageKind uint8
+
+const (
+	messageAsk messageKind = iota
+	messageCancel
+	messageDone
+	messageCommand
+)
+
+// message is one entry of the ring.
+type message struct {
+	kind    messageKind
+	outcome Outcome
+	ticket  Ticket
+	elapsed clock.Millis
+	ask     *ask
+	command *command
+}
+
+// ask is a request on its way through the dispatcher. The dispatcher answers
+// each ask exactly once.
+type ask struct {
+	request Request
+	// reply has room for the one answer, so that the dispatcher never waits.
+	reply chan struct{}
+	// grant and refusal are set before reply is sent.
+	grant   Grant
+	refusal *Refusal
+	// waiter is owned by the dispatcher; nil unless the ask is queued.
+	waiter *admit.Waiter[*ask]
+}
+
+// flight is a granted request.
+type flight struct {
+	line       *admit.Line[*ask]
+	upstream   *route.Upstream
+	generation uint32
+	// number makes the tickets of one place different over time.
+	number uint32
+}
+
+// Dispatcher is the duty that owns admission, routing and announcements.
+type Dispatcher[P admit.Picker, Q route.Policy] struct {
+	cfg    Settings
+	clk    clock.Clock
+	in     *ring.Ring[message]
+	done   chan struct{}
+	stop   sync.Once
+	asks   sync.Pool
+	drawn  atomic.Uint64
+	gate   *admit.Gate[P, *ask]
+	router *route.Router[Q]
+	roster *member.Roster
+	table  model.Table
+	// ready is false before the first table, and after a pause of this process
+	// until the table was read again.
+	ready bool
+	// rank and count divide contracts over the entry processes.
+	rank, count int
+	// slots counts the instances of each pool by their number of slots.
+	slots   map[model.Pool]map[int]int
+	counted map[model.InstanceID]counted
+	flights []flight
+	free    []uint32
+	counts  Counts
+	late    []*ask
+	pools   []model.Pool
+	lapsed  []member.Record
+}
+
+// New returns a dispatcher that is not running yet.
+func New[P admit.Picker, Q route.Policy](cfg Settings, clk clock.Clock, picker P, policy Q) *Dispatcher[P, Q] {
+	if cfg.Ring <= 0 {
+		cfg.Ring = DefaultRing
+	}
+	var all, near []model.Process
+	for _, m := range cfg.Entries {
+		all = append(all, m.Name)
+		if m.Zone == cfg.Zone {
+			near = append(near, m.Name)
+		}
+	}
+	d := &Dispatcher[P, Q]{
+		cfg:     cfg,
+		clk:     clk,
+		in:      ring.New[message](cfg.Ring),
+		done:    make(chan struct{}),
+		gate:    admit.New[P, *ask](picker),
+		roster:  member.New(member.Settings{Zone: cfg.Zone, Lease: cfg.Lease}, clk.Now()),
+		slots:   map[model.Pool]map[int]int{},
+		counted: map[model.InstanceID]counted{},
+		table: model.Table{
+			Contracts: map[model.Customer]model.Contract{},
+			Instances: map[model.InstanceID]model.Instance{},
+		},
+	}
+	d.rank, d.count = admit.Rank(all, cfg.Self)
+	zoneRank, zoneCount := admit.Rank(near, cfg.Self)
+	d.router = route.New(route.Settings{Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount}, policy)
+	d.asks.New = func() any { return &ask{reply: make(chan struct{}, 1)} }
+	return d
+}
+
+// Run is the duty's loop; it returns after Stop.
+func (d *Dispatcher[P, Q]) Run() error {
+	buf := make([]message, 0, batch)
+	tick := d.clk.After(tickEvery)
+	for {
+		select {
+		case m := <-d.in.C():
+			now := d.observe()
+			d.handle(now, m)
+			buf = d.in.Drain(buf[:0], batch)
+			for i := range buf {
+				d.handle(now, buf[i])
+				buf[i] = message{}
+			}
+		case <-tick:
+			d.tick(d.observe())
+			tick = d.clk.After(tickEvery)
+		case <-d.done:
+			return nil
+		}
+		d.drawn.Store(uint64(d.router.Drained()))
+	}
+}
+
+// Stop ends the duty. Asks that wait are refused.
+func (d *Dispatcher[P, Q]) Stop() { d.stop.Do(func() { close(d.done) }) }
+
+// observe reads the clock and notices a pause of this process.
+func (d *Dispatcher[P, Q]) observe() clock.Millis {
+	now := d.clk.Now()
+	if d.roster.Observe(now) {
+		d.ready = false
+	}
+	return now
+}
+
+func (d *Dispatcher[P, Q]) handle(now clock.Millis, m message) {
+	switch m.kind {
+	case messageAsk:
+		d.admit(now, m.ask)
+	case messageCancel:
+		d.cancel(m.ask)
+	case messageDone:
+		d.end(now, m)
+	case messageCommand:
+		d.command(now, m.command)
+	}
+}
+
+// tick handles what only the passing of time changes.
+func (d *Dispatcher[P, Q]) tick(now clock.Millis) {
+	d.lapsed = d.roster.Lapse(now, d.lapsed[:0])
+	for _, r := range d.lapsed {
+		d.router.SetMember(now, r.Announcement, false)
+		d.event(model.Event{Kind: model.EventUpstreamGone, Instance: r.Announcement.Instance, Pool: r.Announcement.Pool, Limit: "lease"})
+	}
+	d.late = d.gate.Expire(now, d.late[:0])
+	d.refuseLate()
+	d.pumpAll(now)
+}
+
+// pumpAll starts waiters wherever there is room, and refuses those of pools
+// that lost their last upstream.
+func (d *Dispatcher[P, Q]) pumpAll(now clock.Millis) {
+	d.pools = d.gate.Waiting(d.pools[:0])
+	for _, p := range d.pools {
+		if _, slots := d.router.Routable(p); slots == 0 {
+			d.late = d.gate.Clear(p, d.late[:0])
+			for _, a := range d.late {
+				d.refuse(a, noUpstream(p))
+			}
+			continue
+		}
+		d.pump(now, p)
+	}
+}
+
+func (d *Dispatcher[P, Q]) event(e model.Event) {
+	if d.cfg.Events != nil {
+		e.Process = d.cfg.Self
+		d.cfg.Events.Put(e)
+	}
+}
--- /dev/null
+++ b/core/state/admit/gate.go
@@ -0,0 +1,286 @@
+package admit
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Reason says why a request was refused or dropped.
+type Reason int
+
+// The reasons for a refusal.
+const (
+	ReasonNone Reason = iota
+	// ReasonContract: the customer has no contract.
+	ReasonContract
+	// ReasonPool: the contract does not cover the pool.
+	ReasonPool
+	// ReasonShare: this process holds no share of the contract.
+	ReasonShare
+	// ReasonQueue: the customer's queue is full.
+	ReasonQueue
+	// ReasonDeadline: the request cannot end before its deadline.
+	ReasonDeadline
+	// ReasonRetry: the customer's retry budget is spent.
+	ReasonRetry
+)
+
+var reasonNames = [...]string{
+	"", "no contract", "pool not in contract", "no share", "queue full",
+	"deadline cannot be met", "retry budget spent",
+}
+
+// String returns the text for refusals and logs.
+func (r Reason) String() string {
+	if r < 0 || int(r) >= len(reasonNames) {
+		return "unknown"
+	}
+	return reasonNames[r]
+}
+
+// smoothing is the weight of a new sample in the typical run time.
+const smoothing = 0.1
+
+// Gate decides who runs. R is the caller's reference for a waiting request.
+// It is not safe for use by several goroutines.
+type Gate[P Picker, R any] struct {
+	picker    P
+	customers map[model.Customer]*Account[R]
+	pools     map[model.Pool]*hall[R]
+	arrivals  uint64
+	// turns and lines are scratch space for one choice.
+	turns []*Turn
+	lines []*Line[R]
+}
+
+// Account is the state of one customer in this process.
+type Account[R any] struct {
+	Customer model.Customer
+	Limit    Limit
+	// Running is the number of requests in flight. It stays at or below
+	// Limit.InFlight except after a contract was reduced.
+	Running int
+	// Waiting is the number of queued requests over all pools.
+	Waiting int
+	// Retries is the number of retries that may be made now; at most
+	// retryBurst.
+	Retries float64
+	lines   map[model.Pool]*Line[R]
+}
+
+// hall holds the lines of one pool.
+type hall[R any] struct {
+	// active lists the lines that have waiters.
+	active []*Line[R]
+	// pass is the virtual time of the last start.
+	pass float64
+	// typical is the smoothed run time in milliseconds; 0 without a sample.
+	typical float64
+}
+
+// New returns a gate without customers.
+func New[P Picker, R any](picker P) *Gate[P, R] {
+	return &Gate[P, R]{
+		picker:    picker,
+		customers: map[model.Customer]*Account[R]{},
+		pools:     map[model.Pool]*hall[R]{},
+	}
+}
+
+// SetCustomer puts the share of a customer in force. Lines of pools that the
+// contract no longer covers are removed, and their waiters returned.
+func (g *Gate[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
+	a := g.customers[name]
+	if a == nil {
+		a = &Account[R]{Customer: name, lines: map[model.Pool]*Line[R]{}}
+		if share.RetryPercent > 0 {
+			a.Retries = 1
+		}
+		g.customers[name] = a
+	}
+	share.Weight = max(share.Weight, 1)
+	a.Limit = share
+	covered := make(map[model.Pool]bool, len(pools))
+	for _, p := range pools {
+		covered[p.Pool] = true
+		if a.lines[p.Pool] == nil {
+			a.lines[p.Pool] = &Line[R]{Account: a, Pool: p.Pool, hall: g.hall(p.Pool)}
+		}
+		a.lines[p.Pool].turn.Weight = share.Weight
+	}
+	var out []R
+	for p, l := range a.lines {
+		if !covered[p] {
+			out = l.clear(out)
+			delete(a.lines, p)
+		}
+	}
+	return out
+}
+
+// RemoveCustomer forgets a customer and returns its waiters.
+func (g *Gate[P, R]) RemoveCustomer(name model.Customer) []R {
+	a := g.customers[name]
+	if a == nil {
+		return nil
+	}
+	var out []R
+	for _, l := range a.lines {
+		out = l.clear(out)
+	}
+	delete(g.customers, name)
+	return out
+}
+
+func (g *Gate[P, R]) hall(p model.Pool) *hall[R] {
+	h := g.pools[p]
+	if h == nil {
+		h = &hall[R]{}
+		g.pools[p] = h
+	}
+	return h
+}
+
+// Line finds the line of a customer in a pool, or the reason why the request
+// can never run in this process.
+func (g *Gate[P, R]) Line(c model.Customer, p model.Pool) (*Line[R], Reason) {
+	a := g.customers[c]
+	if a == nil {
+		return nil, ReasonContract
+	}
+	l := a.lines[p]
+	if l == nil {
+		return nil, ReasonPool
+	}
+	if a.Limit.InFlight == 0 {
+		return nil, ReasonShare
+	}
+	return l, ReasonNone
+}
+
+// Account returns the state of a customer; nil when it is not known.
+func (g *Gate[P, R]) Account(c model.Customer) *Account[R] { return g.customers[c] }
+
+// Each calls f for every customer.
+func (g *Gate[P, R]) Each(f func(*Account[R])) {
+	for _, a := range g.customers {
+		f(a)
+	}
+}
+
+// Start counts a request that runs without having waited.
+func (g *Gate[P, R]) Start(l *Line[R]) {
+	l.Account.Running++
+	l.start()
+}
+
+// End counts the end of a request. A run time below 0 is not learnt from.
+func (g *Gate[P, R]) End(l *Line[R], elapsed clock.Millis) {
+	l.Account.Running--
+	if elapsed < 0 {
+		return
+	}
+	h := l.hall
+	if h.typical == 0 {
+		h.typical = float64(elapsed)
+		return
+	}
+	h.typical += smoothing * (float64(elapsed) - h.typical)
+}
+
+// Typical is the smoothed run time of a pool; 0 when it is not known.
+func (g *Gate[P, R]) Typical(p model.Pool) clock.Millis {
+	if h := g.pools[p]; h != nil {
+		return clock.Millis(h.typical)
+	}
+	return 0
+}
+
+// Join queues a request. slots is the number of requests that the pool runs
+// at once. The request is refused when the customer's queue is full, or when
+// the expected wait and run time reach beyond the deadline.
+func (g *Gate[P, R]) Join(now, deadline clock.Millis, l *Line[R], slots int, ref R) (*Waiter[R], Reason) {
+	if l.Account.Waiting >= l.Account.Limit.Queue {
+		return nil, ReasonQueue
+	}
+	if now+l.Wait(slots)+clock.Millis(l.hall.typical) >= deadline {
+		return nil, ReasonDeadline
+	}
+	g.arrivals++
+	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, number: g.arrivals}
+	l.push(w)
+	return w, ReasonNone
+}
+
+// Waits reports whether a pool has a waiter whose customer may run now.
+func (g *Gate[P, R]) Waits(p model.Pool) bool {
+	h := g.pools[p]
+	if h == nil {
+		return false
+	}
+	for _, l := range h.active {
+		if l.CanRun() {
+			return true
+		}
+	}
+	return false
+}
+
+// Next takes the waiter out of a pool that runs next, and counts it as
+// running. Waiters that can no longer end in time are appended to late. It
+// returns nil when none may run.
+func (g *Gate[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
+	h := g.pools[p]
+	if h == nil {
+		return nil, late
+	}
+	late = h.dropLate(now, now+clock.Millis(h.typical), late)
+	g.turns, g.lines = g.turns[:0], g.lines[:0]
+	for _, l := range h.active {
+		if l.CanRun() {
+			g.turns = append(g.turns, &l.turn)
+			g.lines = append(g.lines, l)
+		}
+	}
+	if len(g.lines) == 0 {
+		return nil, late
+	}
+	l := g.lines[g.picker.Pick(g.turns)]
+	w := l.first
+	l.remove(w)
+	l.Account.Running++
+	l.start()
+	return w, late
+}
+
+// Expire removes the waiters whose deadline passed and appends them to late.
+func (g *Gate[P, R]) Expire(now clock.Millis, late []R) []R {
+	for _, h := range g.pools {
+		for i := len(h.active) - 1; i >= 0; i-- {
+			late = h.active[i].expire(now, late)
+		}
+	}
+	return late
+}
+
+// Clear removes all waiters of a pool and appends them to out.
+func (g *Gate[P, R]) Clear(p model.Pool, out []R) []R {
+	h := g.pools[p]
+	if h == nil {
+		return out
+	}
+	for len(h.active) > 0 {
+		out = h.active[0].clear(out)
+	}
+	return out
+}
+
+// Waiting appends the pools that have waiters to buf.
+func (g *Gate[P, R]) Waiting(buf []model.Pool) []model.Pool {
+	for p, h := range g.pools {
+		if len(h.active) > 0 {
+			buf = append(buf, p)
+		}
+	}
+	return buf
+}
--- /dev/null
+++ b/core/state/admit/line.go
@@ -0,0 +1,147 @@
+package admit
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Line is the queue of one customer in one pool, first come, first served.
+type Line[R any] struct {
+	Account *Account[R]
+	Pool    model.Pool
+	hall    *hall[R]
+	turn    Turn
+	first   *Waiter[R]
+	last    *Waiter[R]
+	length  int
+	// place is the index in hall.active while length is above 0.
+	place int
+}
+
+// Waiter is a queued request.
+type Waiter[R any] struct {
+	Ref      R
+	Deadline clock.Millis
+	Arrived  clock.Millis
+	// number orders the waiters of all lines by arrival.
+	number     uint64
+	line       *Line[R]
+	prev, next *Waiter[R]
+}
+
+// Line returns the line that the waiter stood in.
+func (w *Waiter[R]) Line() *Line[R] { return w.line }
+
+// CanRun reports whether the customer is below its share.
+func (l *Line[R]) CanRun() bool { return l.Account.Running < l.Account.Limit.InFlight }
+
+// Len is the number of waiters.
+func (l *Line[R]) Len() int { return l.length }
+
+// Wait estimates how long a new waiter of the line waits when the pool runs
+// slots requests at once. The pool's rate is divided between the waiting
+// customers by weight, and a customer's rate is bounded by its share.
+func (l *Line[R]) Wait(slots int) clock.Millis {
+	if l.hall.typical == 0 || slots <= 0 {
+		return 0
+	}
+	total := l.turn.Weight
+	for _, o := range l.hall.active {
+		if o != l {
+			total += o.turn.Weight
+		}
+	}
+	rate := float64(slots) * float64(l.turn.Weight) / float64(total)
+	rate = min(rate, float64(l.Account.Limit.InFlight))
+	return clock.Millis(float64(l.length+1) * l.hall.typical / rate)
+}
+
+// Leave takes a waiter out of its line, for a request that was given up.
+func (l *Line[R]) Leave(w *Waiter[R]) { l.remove(w) }
+
+func (l *Line[R]) push(w *Waiter[R]) {
+	w.line = l
+	w.prev = l.last
+	if l.last == nil {
+		l.first = w
+		l.turn.Head = w.number
+		l.place = len(l.hall.active)
+		l.hall.active = append(l.hall.active, l)
+		// A line that was idle gets no credit for the time it did not use.
+		l.turn.Pass = max(l.turn.Pass, l.hall.pass)
+	} else {
+		l.last.next = w
+	}
+	l.last = w
+	l.length++
+	l.Account.Waiting++
+}
+
+func (l *Line[R]) remove(w *Waiter[R]) {
+	if w.prev == nil {
+		l.first = w.next
+	} else {
+		w.prev.next = w.next
+	}
+	if w.next == nil {
+		l.last = w.prev
+	} else {
+		w.next.prev = w.prev
+	}
+	w.prev, w.next = nil, nil
+	l.length--
+	l.Account.Waiting--
+	if l.first != nil {
+		l.turn.Head = l.first.number
+		return
+	}
+	h := l.hall
+	end := len(h.active) - 1
+	h.active[l.place] = h.active[end]
+	h.active[l.place].place = l.place
+	h.active[end] = nil
+	h.active = h.active[:end]
+}
+
+// start moves the virtual time of the line on by one request.
+func (l *Line[R]) start() {
+	l.turn.Pass = max(l.turn.Pass, l.hall.pass)
+	l.hall.pass = l.turn.Pass
+	l.turn.Pass += 1 / float64(l.turn.Weight)
+}
+
+// expire removes the waiters whose deadline is at or before now.
+func (l *Line[R]) expire(now clock.Millis, late []R) []R {
+	for w := l.first; w != nil; {
+		next := w.next
+		if w.Deadline <= now {
+			l.remove(w)
+			late = append(late, w.Ref)
+		}
+		w = next
+	}
+	return late
+}
+
+func (l *Line[R]) clear(out []R) []R {
+	for l.first != nil {
+		out = append(out, l.first.Ref)
+		l.remove(l.first)
+	}
+	return out
+}
+
+// dropLate removes the waiters at the heads of the lines that cannot end in
+// time: their deadline is at or before end, the time at which a typical
+// request that starts now ends.
+func (h *hall[R]) dropLate(now, end clock.Millis, late []R) []R {
+	end = max(end, now)
+	for i := len(h.active) - 1; i >= 0; i-- {
+		l := h.active[i]
+		for l.first != nil && l.first.Deadline <= end {
+			late = append(late, l.first.Ref)
+			l.remove(l.first)
+		}
+	}
+	return late
+}
--- /dev/null
+++ b/core/state/admit/picker.go
@@ -0,0 +1,48 @@
+package admit
+
+// Picker chooses the line that runs next. It gets only lines that have a
+// waiter and whose customer is below its share; there is at least one.
+type Picker interface {
+	Pick(lines []*Turn) int
+}
+
+// Turn is what a picker knows of a customer's line in one pool.
+type Turn struct {
+	// Weight is at least 1.
+	Weight int
+	// Pass is the virtual time of the next start; it only grows while the
+	// line is in use.
+	Pass float64
+	// Head is the arrival number of the first waiter; it grows over all lines.
+	Head uint64
+}
+
+// Fair picks the line with the lowest virtual time. A start moves the line's
+// virtual time on by 1/weight, so busy lines start in proportion to their
+// weights and a flood in one line does not delay the others.
+type Fair struct{}
+
+// Pick returns the index of the line with the lowest Pass.
+func (Fair) Pick(lines []*Turn) int {
+	best := 0
+	for i, t := range lines {
+		if t.Pass < lines[best].Pass {
+			best = i
+		}
+	}
+	return best
+}
+
+// Arrival is the baseline: first come, first served over all customers.
+type Arrival struct{}
+
+// Pick returns the index of the line whose first waiter came first.
+func (Arrival) Pick(lines []*Turn) int {
+	best := 0
+	for i, t := range lines {
+		if t.Head < lines[best].Head {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/state/admit/retry.go
@@ -0,0 +1,19 @@
+package admit
+
+// retryBurst bounds the retries that a customer can save up, so that a long
+// quiet time does not allow a burst of them.
+const retryBurst = 10
+
+// Credit adds the part of a retry that a first try earns.
+func (a *Account[R]) Credit() {
+	a.Retries = min(a.Retries+float64(a.Limit.RetryPercent)/100, retryBurst)
+}
+
+// Retry takes one retry from the budget, or reports that it is spent.
+func (a *Account[R]) Retry() bool {
+	if a.Limit.RetryPercent <= 0 || a.Retries < 1 {
+		return false
+	}
+	a.Retries--
+	return true
+}
--- /dev/null
+++ b/core/state/member/error.go
@@ -0,0 +1,40 @@
+package member
+
+import "fmt"
+
+// Kind tells the reasons apart for which an announcement is refused.
+type Kind int
+
+// The kinds of refusal.
+const (
+	// KindInvalid: a field is missing or out of range.
+	KindInvalid Kind = iota
+	// KindZone: the announcement belongs to another zone.
+	KindZone
+	// KindIncarnation: a higher incarnation was heard before.
+	KindIncarnation
+	// KindPool: another pool was announced under the same incarnation.
+	KindPool
+	// KindAddress: another address was announced under the same incarnation,
+	// or the address is in use by another instance.
+	KindAddress
+	// KindStale: the announcement is older than what is known.
+	KindStale
+)
+
+// Error is the reason why an announcement was refused.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation and the reason.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *Error) Unwrap() error { return e.Err }
+
+func refuse(k Kind, format string, args ...any) *Error {
+	return &Error{Op: "announce", Kind: k, Err: fmt.Errorf(format, args...)}
+}
--- /dev/null
+++ b/core/state/route/router.go
@@ -0,0 +1,302 @@
+package route
+
+import (
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// SlowStart is the time over which a newcomer reaches its whole share. A
+// process that has just started has cold caches, and the share of one entry
+// process is only a few slots, so the ramp is short.
+const SlowStart = 3 * clock.Second
+
+// Settings says which process routes.
+type Settings struct {
+	Zone model.Zone
+	// Rank and Count are the position among the entry processes of the zone
+	// and their number.
+	Rank, Count int
+}
+
+// Router chooses upstreams. It is not safe for use by several goroutines.
+type Router[P Policy] struct {
+	cfg       Settings
+	policy    P
+	upstreams map[model.InstanceID]*Upstream
+	pools     map[model.Pool]*group
+	// blocked holds the upstreams with requests of earlier generations.
+	blocked map[model.InstanceID]*Upstream
+	// Version is the version of the table in force.
+	Version    model.Version
+	candidates []Candidate
+}
+
+// group is the routable upstreams of one pool.
+type group struct {
+	members []*Upstream
+	turn    uint64
+}
+
+// New returns a router without upstreams.
+func New[P Policy](cfg Settings, policy P) *Router[P] {
+	return &Router[P]{
+		cfg:       cfg,
+		policy:    policy,
+		upstreams: map[model.InstanceID]*Upstream{},
+		pools:     map[model.Pool]*group{},
+		blocked:   map[model.InstanceID]*Upstream{},
+	}
+}
+
+// SetInstance puts the table entry of an instance of any zone in force. held is
+// the version of the table before the change that brought it.
+func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, held model.Version) {
+	u := r.upstreams[i.ID]
+	if i.Zone != r.cfg.Zone {
+		if u == nil {
+			return
+		}
+	}
+	u = r.upstream(i.ID)
+	if u.known && u.entry.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.entry.Pool) {
+		// An entry that passed the releasing phase unseen was released at an
+		// unknown version after held.
+		released := held + 1
+		if i.Phase == model.PhaseReleasing {
+			released = i.Version
+		}
+		r.release(u, released)
+	}
+	u.entry, u.known = i, true
+	r.refresh(now, u)
+}
+
+// RemoveInstance forgets the table entry of an instance. held is the version of
+// the table before the change that removed it.
+func (r *Router[P]) RemoveInstance(now clock.Millis, id model.InstanceID, held model.Version) {
+	u := r.upstreams[id]
+	if u == nil {
+		return
+	}
+	if u.known && u.entry.Phase == model.PhaseServing {
+		r.release(u, held+1)
+	}
+	u.entry, u.known = model.Instance{}, false
+	r.refresh(now, u)
+}
+
+// SetMember puts an announcement in force; live is false once its lease
+// lapsed.
+func (r *Router[P]) SetMember(now clock.Millis, a model.Announcement, live bool) {
+	u := r.upstream(a.Instance)
+	if a.Incarnation != u.member.Incarnation {
+		// A new process starts with a clean record and a slow start.
+		u.Score, u.EjectedUntil, u.Ejections, u.Since = 0, 0, 0, now
+	}
+	u.member, u.live = a, live
+	r.refresh(now, u)
+}
+
+func (r *Router[P]) upstream(id model.InstanceID) *Upstream {
+	u := r.upstreams[id]
+	if u == nil {
+		u = &Upstream{Instance: id}
+		r.upstreams[id] = u
+	}
+	return u
+}
+
+// release starts a new generation: the requests in flight hold up the release.
+func (r *Router[P]) release(u *Upstream, v model.Version) {
+	u.Generation++
+	u.Old = u.Running
+	if u.Old > 0 {
+		if u.Blocked == 0 {
+			u.Blocked = v
+		}
+		r.blocked[u.Instance] = u
+	}
+}
+
+// refresh derives the routable state of an upstream from its inputs.
+func (r *Router[P]) refresh(now clock.Millis, u *Upstream) {
+	u.Slots, u.Connections = r.shares(u)
+	u.Address, u.Incarnation, u.HealthPath = u.member.Address, u.member.Incarnation, u.member.HealthPath
+	pool := u.routable(r.cfg.Zone)
+	if pool != u.Pool {
+		r.leave(now, u)
+		u.Pool = pool
+		if pool != "" {
+			u.Since = now
+			r.group(pool).members = append(r.group(pool).members, u)
+		}
+	}
+	r.forget(u)
+}
+
+// shares returns this process's part of the slots and connections. Both the
+// table and the announcement bound them; 0 in the table means not known.
+func (r *Router[P]) shares(u *Upstream) (slots, conns int) {
+	slots, conns = u.member.Slots, u.member.Connections
+	if u.entry.Slots > 0 {
+		slots = min(slots, u.entry.Slots)
+	}
+	if u.entry.Connections > 0 {
+		conns = min(conns, u.entry.Connections)
+	}
+	conns = admit.Share(conns, r.cfg.Rank, r.cfg.Count)
+	return min(admit.Share(slots, r.cfg.Rank, r.cfg.Count), conns), conns
+}
+
+func (r *Router[P]) group(p model.Pool) *group {
+	g := r.pools[p]
+	if g == nil {
+		g = &group{}
+		r.pools[p] = g
+	}
+	return g
+}
+
+func (r *Router[P]) leave(now clock.Millis, u *Upstream) {
+	g := r.pools[u.Pool]
+	if g == nil {
+		return
+	}
+	for i, m := range g.members {
+		if m == u {
+			g.members = append(g.members[:i], g.members[i+1:]...)
+			g.keepFloor(now)
+			return
+		}
+	}
+}
+
+// forget drops an upstream that neither table nor roster names and that has
+// nothing in flight.
+func (r *Router[P]) forget(u *Upstream) {
+	if !u.known && !u.live && u.Running == 0 {
+		delete(r.upstreams, u.Instance)
+	}
+}
+
+// Pick reserves a slot of an upstream of the pool, or returns nil when none
+// has room. The upstream to avoid is taken only when no other has room.
+func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) *Upstream {
+	g := r.pools[p]
+	if g == nil || len(g.members) == 0 {
+		return nil
+	}
+	r.candidates = r.candidates[:0]
+	var last *Upstream
+	warm := g.warm(now)
+	for _, u := range g.members {
+		n := room(now, u, warm)
+		if u.Running >= n {
+			continue
+		}
+		if u.Instance == avoid {
+			last = u
+			continue
+		}
+		r.candidates = append(r.candidates, Candidate{Upstream: u, Room: n})
+	}
+	if len(r.candidates) > 0 {
+		last = r.candidates[r.policy.Choose(r.candidates, g.turn)].Upstream
+		g.turn++
+	}
+	if last != nil {
+		last.Running++
+	}
+	return last
+}
+
+// Return gives back a reservation that was not used.
+func (r *Router[P]) Return(u *Upstream) {
+	u.Running--
+	r.forget(u)
+}
+
+// warm reports whether some upstream is past its slow start. Without one, as
+// after a start of this process, nobody is held back.
+func (g *group) warm(now clock.Millis) bool {
+	for _, u := range g.members {
+		if now-u.Since >= SlowStart && !u.Ejected(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// room returns the number of requests an upstream may run now.
+func room(now clock.Millis, u *Upstream, warm bool) int {
+	if u.Ejected(now) {
+		return 0
+	}
+	age := max(now-u.Since, 0)
+	if !warm || age >= SlowStart || u.Slots == 0 {
+		return u.Slots
+	}
+	return max(1, int(clock.Millis(u.Slots)*age/SlowStart))
+}
+
+// Room returns the number of requests that the pool may run at once now.
+func (r *Router[P]) Room(now clock.Millis, p model.Pool) int {
+	g := r.pools[p]
+	if g == nil {
+		return 0
+	}
+	n, warm := 0, g.warm(now)
+	for _, u := range g.members {
+		n += room(now, u, warm)
+	}
+	return n
+}
+
+// Routable returns the number of upstreams of the pool, ejected ones included,
+// and their slots in this process's share.
+func (r *Router[P]) Routable(p model.Pool) (upstreams, slots int) {
+	g := r.pools[p]
+	if g == nil {
+		return 0, 0
+	}
+	for _, u := range g.members {
+		slots += u.Slots
+	}
+	return len(g.members), slots
+}
+
+// End gives a slot back. generation is that of the upstream at the time of the
+// Pick. It reports whether the upstream was ejected by this outcome.
+func (r *Router[P]) End(now clock.Millis, u *Upstream, generation uint32, o Outcome) (ejected bool) {
+	u.Running--
+	if generation != u.Generation && u.Old > 0 {
+		u.Old--
+		if u.Old == 0 {
+			u.Blocked = 0
+			delete(r.blocked, u.Instance)
+		}
+	}
+	if generation == u.Generation && u.Pool != "" {
+		ejected = r.learn(now, u, o)
+	}
+	r.forget(u)
+	return ejected
+}
+
+// Drained returns the highest version of the table such that no request in
+// flight uses an instance released at or below it.
+func (r *Router[P]) Drained() model.Version {
+	v := r.Version
+	for _, u := range r.blocked {
+		v = min(v, u.Blocked-1)
+	}
+	return v
+}
+
+// Each calls f for every upstream.
+func (r *Router[P]) Each(f func(*Upstream)) {
+	for _, u := range r.upstreams {
+		f(u)
+	}
+}
--- /dev/null
+++ b/core/state/route/upstream.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Outcome is how a request on an upstream ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeOK: a whole response came back.
+	OutcomeOK Outcome = iota
+	// OutcomeError: a whole response came back and its status is 5xx.
+	OutcomeError
+	// OutcomeUnknown: bytes were written and no whole response came back.
+	OutcomeUnknown
+	// OutcomeConnect: no connection could be opened or used.
+	OutcomeConnect
+	// OutcomeBusy: the upstream answered that it did not run the request.
+	OutcomeBusy
+	// OutcomeCancelled: the caller gave up; says nothing of the upstream.
+	OutcomeCancelled
+)
+
+// Upstream is one instance as this process sees it.
+type Upstream struct {
+	Instance model.InstanceID
+	// Pool is the pool that table and announcement agree on; empty while
+	// they do not.
+	Pool        model.Pool
+	Address     string
+	Incarnation uint64
+	HealthPath  string
+	// Slots and Connections are this process's share.
+	Slots       int
+	Connections int
+	// Running is the number of requests in flight, of all generations.
+	Running int
+	// Generation grows each time the instance is released from a pool.
+	Generation uint32
+	// Old is the number of requests in flight of earlier generations.
+	Old int
+	// Blocked is the table version of the release that Old requests hold up;
+	// 0 when Old is 0.
+	Blocked model.Version
+	// Since is the time at which the upstream became routable.
+	Since clock.Millis
+	// Score is the smoothed share of failures, from 0 to 1.
+	Score float64
+	// EjectedUntil is in the future while the upstream is ejected.
+	EjectedUntil clock.Millis
+	// Ejections is the number of ejections in a row; it sets their length.
+	Ejections int
+	// entry, member and lapsed are the inputs of routable.
+	entry  model.Instance
+	known  bool
+	member model.Announcement
+	live   bool
+}
+
+// Ejected reports whether the upstream is ejected at a time.
+func (u *Upstream) Ejected(now clock.Millis) bool { return u.EjectedUntil > now }
+
+// routable returns the pool that the upstream may serve, or "". The table and
+// the announcement must agree, and the lease must hold.
+func (u *Upstream) routable(zone model.Zone) model.Pool {
+	ok := u.known && u.live &&
+		u.entry.Phase == model.PhaseServing && u.entry.Zone == zone &&
+		u.member.State == model.AnnounceServing && u.member.Zone == zone &&
+		u.member.Pool == u.entry.Pool
+	if !ok {
+		return ""
+	}
+	return u.entry.Pool
+}
--- /dev/null
+++ b/io/trans/front/rig_test.go
@@ -0,0 +1,148 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"camphorridge/core/coord/entry"
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/route"
+	"camphorridge/io/trans/uplink"
+
+	"gotest.tools/v3/assert"
+)
+
+type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded]
+
+// claims is an in-memory Claimer.
+type claims struct {
+	mu   sync.Mutex
+	held map[model.ClaimKey]model.ClaimOutcome
+	err  error
+}
+
+func (c *claims) Claim(_ context.Context, k model.ClaimKey, token string) (model.ClaimAnswer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return model.ClaimAnswer{}, c.err
+	}
+	if o, ok := c.held[k]; ok {
+		return model.ClaimAnswer{First: o.State, Status: o.Status}, nil
+	}
+	c.held[k] = model.ClaimOutcome{Key: k, Token: token}
+	return model.ClaimAnswer{Granted: true}, nil
+}
+
+func (c *claims) Finish(o model.ClaimOutcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.NotRun {
+		delete(c.held, o.Key)
+		return
+	}
+	c.held[o.Key] = o
+}
+
+// rig is an entry process without its neighbours and control.
+type rig struct {
+	gate   *dispatcher
+	link   *uplink.Link
+	claims *claims
+	front  *Front[*dispatcher, *claims]
+	url    string
+	client *http.Client
+}
+
+func contract(name model.Customer, inFlight, queue, retry int) model.Contract {
+	return model.Contract{
+		Customer: name, Concurrency: inFlight, Queue: queue, RetryPercent: retry,
+		Pools: []model.PoolShare{{Pool: "svc", Instances: 1}},
+	}
+}
+
+// newRig starts a front end whose pool svc has the given upstream addresses,
+// with the given slots each.
+func newRig(t testing.TB, slots int, contracts []model.Contract, addresses ...string) *rig {
+	t.Helper()
+	clk := clock.Real()
+	self := model.Member{Name: "e1", Zone: "z1"}
+	g := &rig{claims: &claims{held: map[model.ClaimKey]model.ClaimOutcome{}}}
+	g.gate = entry.New(entry.Settings{Self: self.Name, Zone: self.Zone, Entries: []model.Member{self}}, clk, admit.Fair{}, route.LeastLoaded{})
+	g.link = uplink.New(uplink.Defaults(), clk)
+	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
+	ended := make(chan struct{}, 2)
+	go func() { _ = g.gate.Run(); ended <- struct{}{} }()
+	go func() { _ = g.link.Run(); ended <- struct{}{} }()
+	d := model.Delta{To: 1, Full: true, Contracts: contracts}
+	for i := range addresses {
+		d.Instances = append(d.Instances, model.Instance{ID: id(i), Zone: self.Zone, Pool: "svc", Slots: slots, Connections: 64, Version: 1})
+	}
+	assert.NilError(t, g.gate.Table(d))
+	for i, a := range addresses {
+		g.announce(t, i, a, slots)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := NewServer(g.front, g.front.cfg.MaxHeader)
+	go func() { _ = srv.Serve(l) }()
+	renew := time.NewTicker(time.Second)
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-renew.C:
+				for i, a := range addresses {
+					_ = g.gate.Announce(announcement(i, a, slots))
+				}
+			case <-stop:
+				return
+			}
+		}
+	}()
+	g.url = "http://" + l.Addr().String()
+	g.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	t.Cleanup(func() {
+		renew.Stop()
+		close(stop)
+		g.client.CloseIdleConnections()
+		_ = srv.Shutdown(5 * clock.Second)
+		g.link.Stop()
+		g.gate.Stop()
+		<-ended
+		<-ended
+	})
+	return g
+}
+
+func id(i int) model.InstanceID { return model.InstanceID("i" + string(rune('a'+i))) }
+
+func announcement(i int, address string, slots int) model.Announcement {
+	return model.Announcement{
+		Instance: id(i), Zone: "z1", Pool: "svc", Address: address,
+		Slots: slots, Connections: 64, Incarnation: 1, HealthPath: "/health",
+	}
+}
+
+func (g *rig) announce(t testing.TB, i int, address string, slots int) {
+	t.Helper()
+	assert.NilError(t, g.gate.Announce(announcement(i, address, slots)))
+}
+
+// request builds a request of a customer.
+func (g *rig) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, g.url+"/svc/x", reader(body))
+	assert.NilError(t, err)
+	r.Header.Set(HeaderCustomer, customer)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
--- /dev/null
+++ b/io/trans/uplink/header.go
@@ -0,0 +1,28 @@
+package uplink
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1)
+// and the older names for them.
+var hopByHop = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// dropHopByHop removes the headers that must not be passed on.
+func dropHopByHop(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
