Add the reports: text, JSON, the HTML time line and the JSON codec of events

Cause: the command line and the admin endpoint need renderings that scripts and operators can rely on. Change: io/proto/report with aligned text, JSON through a small object that keeps the order of its fields, one self-contained page of the time line with a lane per process, and the codec of events driven by one list of fields. Control characters are replaced, as some texts come from callers.

--- /dev/null
+++ b/io/proto/report/explain.go
@@ -0,0 +1,188 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/trail"
+)
+
+// adviceTexts says what each action means for the operator; the target is
+// filled in.
+var adviceTexts = map[trail.Action]string{
+	trail.ActionRaiseLimit:    "raise %s in the contract",
+	trail.ActionApplyContract: "apply a contract: %s",
+	trail.ActionAddPool:       "add the pool to the %s",
+	trail.ActionMoreTime:      "allow a longer %s",
+	trail.ActionAddInstances:  "add instances to %s",
+	trail.ActionStartUpstream: "start the upstream of %s",
+	trail.ActionRepair:        "repair the upstream of %s",
+	trail.ActionProcess:       "restart %s or declare it lost",
+	trail.ActionPlatform:      "check the platform for %s",
+	trail.ActionWait:          "wait for %s",
+	trail.ActionInspect:       "look at the limit %s",
+}
+
+func adviceText(a trail.Advice) string {
+	text, ok := adviceTexts[a.Action]
+	if !ok {
+		return string(a.Action) + " " + a.Target
+	}
+	return fmt.Sprintf(text, a.Target)
+}
+
+// Explain writes an explanation.
+func Explain(w io.Writer, f Format, x trail.Explanation) error {
+	return render(w, "report explanation", f, func() string { return explainText(x) }, func() any { return explainObject(x) })
+}
+
+func explainText(x trail.Explanation) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s at %s\n", x.Subject, clean(x.Name), timeText(x.Now))
+	if !x.Known {
+		b.WriteString("neither the present state nor the events kept mention it\n")
+	}
+	if x.Instance.ID != "" {
+		t := newTable("ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "REASON")
+		i := x.Instance
+		t.add(i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.Since), i.Reason)
+		section(&b, "Present", t)
+	}
+	pools := newTable("POOL", "USE", "PROMISED", "SERVING", "RELEASING", "MAINTENANCE")
+	for _, p := range x.Pools {
+		pools.add(p.Pool, poolUse(p), p.Promised, p.Serving, p.Releasing, p.Maintenance)
+	}
+	section(&b, "Pools", pools)
+	section(&b, "Limits that bound", boundsTable(x.Bounds))
+	section(&b, "In the way now", blocksTable(x.Blocks))
+	if x.Omitted > 0 {
+		fmt.Fprintf(&b, "\n%d older events are left out\n", x.Omitted)
+	}
+	section(&b, "Events", eventsTable(x.Happened))
+	section(&b, "Events of the same instances around it", eventsTable(x.Context))
+	return b.String()
+}
+
+// section writes a titled table, or nothing for an empty one.
+func section(b *strings.Builder, title string, t *table) {
+	if len(t.rows) > 0 {
+		fmt.Fprintf(b, "\n%s\n%s", title, t)
+	}
+}
+
+func poolUse(p trail.PoolState) string {
+	if p.Spare {
+		return "spare"
+	}
+	return "work"
+}
+
+func boundsTable(bounds []trail.Bound) *table {
+	t := newTable("LIMIT", "EVENT", "COUNT", "FIRST", "LAST", "TO-UNBLOCK", "DETAIL")
+	for _, l := range bounds {
+		t.add(l.Limit, l.Kind, l.Count, timeText(l.First.Wall), timeText(l.Last.Wall), adviceText(l.Advice), l.Detail)
+	}
+	return t
+}
+
+func blocksTable(blocks []trail.Block) *table {
+	t := newTable("OBSTACLE", "CONCERNS", "SINCE", "TO-UNBLOCK")
+	for _, k := range blocks {
+		since := "-"
+		if k.Since != 0 {
+			since = timeText(k.Since)
+		}
+		t.add(k.Kind, concerns(k), since, adviceText(k.Advice))
+	}
+	return t
+}
+
+// concerns lists the objects of an obstacle.
+func concerns(k trail.Block) string {
+	var parts []string
+	add := func(name, value string) {
+		if value != "" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	add("instance", string(k.Instance))
+	add("pool", string(k.Pool))
+	add("process", string(k.Process))
+	add("customer", string(k.Customer))
+	add("maintenance", k.Maintenance)
+	if k.Limit != "" {
+		add("limit", fmt.Sprintf("%s:%d", k.Limit, k.Value))
+	}
+	if k.Missing > 0 {
+		add("missing", fmt.Sprint(k.Missing))
+	}
+	if k.Deadline > 0 {
+		add("deadline", timeText(k.Deadline))
+	}
+	return strings.Join(parts, " ")
+}
+
+func adviceObject(a trail.Advice) object {
+	return object{{"action", a.Action}, {"target", a.Target}}
+}
+
+func stampObject(s model.Stamp) object {
+	return object{{"stamp-ms", s.Wall}, {"stamp-count", s.Count}}
+}
+
+func explainObject(x trail.Explanation) object {
+	o := object{{"subject", x.Subject}, {"name", x.Name}, {"now-ms", x.Now}, {"known", x.Known}}
+	if x.Contract.Customer != "" {
+		o = append(o, field{"contract", contractObject(x.Contract)})
+	}
+	if x.Instance.ID != "" {
+		o = append(o, field{"instance", instanceObject(x.Instance)})
+	}
+	return append(
+		o,
+		field{"pools", list(x.Pools, func(p trail.PoolState) object {
+			return object{
+				{"pool", p.Pool},
+				{"spare", p.Spare},
+				{"promised", p.Promised},
+				{"serving", p.Serving},
+				{"releasing", p.Releasing},
+				{"maintenance", p.Maintenance},
+			}
+		})},
+		field{"bounds", list(x.Bounds, func(b trail.Bound) object {
+			return object{
+				{"limit", b.Limit},
+				{"kind", b.Kind},
+				{"count", b.Count},
+				{"first", stampObject(b.First)},
+				{"last", stampObject(b.Last)},
+				{"detail", b.Detail},
+				{"advice", adviceObject(b.Advice)},
+			}
+		})},
+		field{"blocks", list(x.Blocks, blockObject)},
+		field{"omitted", x.Omitted},
+		field{"events", list(x.Happened, eventObject)},
+		field{"context", list(x.Context, eventObject)},
+	)
+}
+
+func blockObject(k trail.Block) object {
+	return object{
+		{"kind", k.Kind},
+		{"instance", k.Instance},
+		{"pool", k.Pool},
+		{"process", k.Process},
+		{"customer", k.Customer},
+		{"maintenance", k.Maintenance},
+		{"limit", k.Limit},
+		{"value", k.Value},
+		{"missing", k.Missing},
+		{"since-ms", k.Since},
+		{"deadline-ms", k.Deadline},
+		{"advice", adviceObject(k.Advice)},
+	}
+}
--- /dev/null
+++ b/io/proto/report/lists.go
@@ -0,0 +1,197 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/trail"
+)
+
+// byName returns a copy in the order of the names, so that equal states give
+// equal reports.
+func byName[T any, K cmp.Ordered](in []T, key func(T) K) []T {
+	out := slices.Clone(in)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+	return out
+}
+
+func contracts(s Status) []model.Contract {
+	return byName(s.Contracts, func(c model.Contract) model.Customer { return c.Customer })
+}
+
+// derived shows a limit that 0 leaves to the system.
+func derived(n int) string {
+	if n == 0 {
+		return "derived"
+	}
+	return fmt.Sprint(n)
+}
+
+// Contracts writes the list of contracts.
+func Contracts(w io.Writer, f Format, s Status) error {
+	return render(w, "report contracts", f, func() string {
+		t := newTable("CUSTOMER", "VERSION", "COVERS", "POOLS", "INSTANCES", "CONCURRENCY", "QUEUE", "MAX-UNAVAILABLE", "BUDGET", "WINDOW", "SPARE")
+		for _, c := range contracts(s) {
+			n := 0
+			for _, p := range c.Pools {
+				n += p.Instances
+			}
+			t.add(c.Customer, c.Version, c.Covers, len(c.Pools), n, derived(c.Concurrency), c.Queue,
+				c.MaxUnavailable, spanText(c.BudgetMillis), spanText(c.WindowMillis), c.Spare)
+		}
+		return t.String()
+	}, func() any { return object{{"contracts", list(contracts(s), contractObject)}} })
+}
+
+// Contract writes one contract with the instances that each pool has now.
+func Contract(w io.Writer, f Format, s Status, name model.Customer) error {
+	i := slices.IndexFunc(s.Contracts, func(c model.Contract) bool { return c.Customer == name })
+	if i < 0 {
+		return &Error{Op: "report contract", Kind: KindNotFound, Err: fmt.Errorf("customer %s has no contract", name)}
+	}
+	c := s.Contracts[i]
+	return render(w, "report contract", f, func() string { return contractText(c, s.Instances) },
+		func() any { return contractObject(c) })
+}
+
+func contractText(c model.Contract, instances []model.Instance) string {
+	t := newTable("SETTING", "VALUE")
+	t.add("customer", c.Customer)
+	t.add("version", c.Version)
+	t.add("covers", c.Covers)
+	t.add("concurrency", derived(c.Concurrency))
+	t.add("queue", c.Queue)
+	t.add("retry-percent", c.RetryPercent)
+	t.add("max-unavailable", c.MaxUnavailable)
+	t.add("budget", spanText(c.BudgetMillis))
+	t.add("window", spanText(c.WindowMillis))
+	t.add("spare instances", c.Spare)
+	t.add("spare pool", c.SparePool)
+	t.add("quota milli-cores", c.Quota.MilliCores)
+	t.add("quota memory-mib", c.Quota.MemoryMiB)
+	t.add("quota accelerators", c.Quota.Accelerators)
+	p := newTable("POOL", "PROMISED", "SERVING")
+	for _, share := range c.Pools {
+		serving := 0
+		for _, i := range instances {
+			if i.Pool == share.Pool && i.Phase == model.PhaseServing {
+				serving++
+			}
+		}
+		p.add(share.Pool, share.Instances, serving)
+	}
+	return t.String() + "\n" + p.String()
+}
+
+// Instances writes the instances that the selector picks.
+func Instances(w io.Writer, f Format, s Status, sel model.Selector) error {
+	var picked []model.Instance
+	for _, i := range byName(s.Instances, func(i model.Instance) model.InstanceID { return i.ID }) {
+		if sel.Matches(i) {
+			picked = append(picked, i)
+		}
+	}
+	return render(w, "report instances", f, func() string {
+		t := newTable("INSTANCE", "ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "MAINTAINED", "SLOTS", "VERSION", "REASON")
+		for _, i := range picked {
+			t.add(i.ID, i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.Since), timeText(i.Maintained), i.Slots, i.Version, i.Reason)
+		}
+		return t.String()
+	}, func() any { return object{{"instances", list(picked, instanceObject)}} })
+}
+
+// progress is how far a declared maintenance got.
+type progress struct {
+	selected, maintained, underWay int
+	overdue                        bool
+}
+
+func progressOf(m model.Maintenance, s Status) progress {
+	var p progress
+	for _, i := range s.Instances {
+		if i.Phase == model.PhaseRetired || !m.Selector.Matches(i) {
+			continue
+		}
+		p.selected++
+		switch {
+		case i.Maintained >= m.Declared:
+			p.maintained++
+		case i.Phase == model.PhaseMaintenance || i.Phase == model.PhaseReleasing && i.Target == i.Pool:
+			p.underWay++
+		}
+	}
+	p.overdue = s.Now > m.Deadline && p.maintained < p.selected
+	return p
+}
+
+func selectorText(sel model.Selector) string {
+	var parts []string
+	for _, p := range [][2]string{
+		{"pool", string(sel.Pool)}, {"zone", string(sel.Zone)}, {"rack", string(sel.Rack)}, {"instance", string(sel.Instance)},
+	} {
+		if p[1] != "" {
+			parts = append(parts, p[0]+"="+p[1])
+		}
+	}
+	if len(parts) == 0 {
+		return "all"
+	}
+	return strings.Join(parts, ",")
+}
+
+// Maintenance writes the declared maintenance and how far each got.
+func Maintenance(w io.Writer, f Format, s Status) error {
+	declared := byName(s.Maintenance, func(m model.Maintenance) string { return m.Name })
+	return render(w, "report maintenance", f, func() string {
+		t := newTable("NAME", "SELECTOR", "DECLARED", "DEADLINE", "OVERDUE", "SELECTED", "MAINTAINED", "UNDER-WAY", "VERSION")
+		for _, m := range declared {
+			p := progressOf(m, s)
+			t.add(m.Name, selectorText(m.Selector), timeText(m.Declared), timeText(m.Deadline), yes(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
+		}
+		return t.String()
+	}, func() any {
+		return object{{"maintenance", list(declared, func(m model.Maintenance) object {
+			return maintenanceObject(m, progressOf(m, s))
+		})}}
+	})
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// behind is the number of log entries between the table that the process runs
+// and the current one.
+func behind(s Status, p ProcessStatus) model.Version {
+	return s.Version - min(p.Version, s.Version)
+}
+
+func silent(s Status, p ProcessStatus) bool {
+	return p.Seen == 0 || s.Now-p.Seen > trail.SilentAfter
+}
+
+// Overview writes the status: the control member asked, and which process
+// runs which version of the table since when.
+func Overview(w io.Writer, f Format, s Status) error {
+	s.Processes = byName(s.Processes, func(p ProcessStatus) model.Process { return p.Name })
+	return render(w, "report status", f, func() string {
+		head := newTable("MEMBER", "ROLE", "LEADER", "TERM", "COMMIT", "VERSION", "TIME", "CONTRACTS", "INSTANCES", "MAINTENANCE")
+		head.add(s.Member, s.Role, s.Leader, s.Term, s.Commit, s.Version, timeText(s.Now), len(s.Contracts), len(s.Instances), len(s.Maintenance))
+		t := newTable("PROCESS", "ZONE", "VERSION", "BEHIND", "DRAINED", "SINCE", "SEEN-AGO", "SILENT", "INCARNATION")
+		current := 0
+		for _, p := range s.Processes {
+			if p.Version == s.Version && !silent(s, p) {
+				current++
+			}
+			t.add(p.Name, p.Zone, p.Version, behind(s, p), p.Drained, timeText(p.Since), ageText(s.Now, p.Seen), yes(silent(s, p)), p.Incarnation)
+		}
+		return fmt.Sprintf("%s\n%s\n%d of %d processes are heard and run version %d\n", head, t, current, len(s.Processes), s.Version)
+	}, func() any { return statusObject(s) })
+}
--- /dev/null
+++ b/io/proto/report/report_test.go
@@ -0,0 +1,221 @@
+package report_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/trail"
+	"camphorridge/io/proto/report"
+)
+
+const start = clock.Millis(1_796_382_000_000)
+
+func status() report.Status {
+	return report.Status{
+		Member: "c1", Leader: "c2", Role: "follower", Term: 4, Commit: 120, Version: 118, Now: start,
+		Contracts: []model.Contract{
+			{
+				Customer: "pruefkette", Version: 9, Covers: model.DomainRack, Queue: 64, RetryPercent: 10,
+				Pools:          []model.PoolShare{{Pool: "audit", Instances: 8}, {Pool: "log", Instances: 2}},
+				MaxUnavailable: 2, BudgetMillis: 2 * clock.Hour, WindowMillis: clock.Day, Spare: 8, SparePool: "portal",
+			},
+			{
+				Customer: "pomar-alto", Version: 7, Covers: model.DomainZone, Concurrency: 320,
+				Pools: []model.PoolShare{{Pool: "fees", Instances: 12}}, MaxUnavailable: 1, BudgetMillis: 90_500, WindowMillis: clock.Day,
+				Quota: model.Quota{MilliCores: 64_000, MemoryMiB: 131_072},
+			},
+		},
+		Instances: []model.Instance{
+			{ID: "i2", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Phase: model.PhaseReleasing, Slots: 8, Connections: 64, Reason: "maintenance kernel", Since: start - 5000, Version: 118},
+			{ID: "i1", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Slots: 8, Maintained: start - 1000, Since: start - 1000, Version: 101, Reason: "returned\nfrom \x1b[31mmaintenance"},
+		},
+		Maintenance: []model.Maintenance{
+			{Name: "kernel", Selector: model.Selector{Pool: "log", Zone: "zone-a"}, Declared: start - clock.Hour, Deadline: start - 1, Version: 90},
+			{Name: "all", Declared: start, Deadline: start + clock.Day, Version: 91},
+		},
+		Processes: []report.ProcessStatus{
+			{Name: "e2", Zone: "zone-b", Version: 110, Drained: 110, Since: start - clock.Hour, Seen: start - 10*clock.Second, Incarnation: 3},
+			{Name: "e1", Zone: "zone-a", Version: 118, Drained: 117, Since: start - 5000, Seen: start - 400, Incarnation: 1},
+			{Name: "e3", Zone: "zone-c"},
+		},
+	}
+}
+
+func events() []model.Event {
+	at := func(ms clock.Millis, p model.Process, e model.Event) model.Event {
+		e.Stamp, e.Process, e.Seq = model.Stamp{Wall: start - 60_000 + ms, Count: 1}, p, uint64(ms)
+		return e
+	}
+	return trail.Merge([]model.Event{
+		at(1, "e1", model.Event{Kind: model.EventStart}),
+		at(900, "c1", model.Event{Kind: model.EventChange, Version: 118, Detail: "contract <pomar-alto> & co"}),
+		at(905, "e1", model.Event{Kind: model.EventTable, Version: 118}),
+		at(30_000, "e2", model.Event{Kind: model.EventRefused, Customer: "pomar-alto", Pool: "fees", Request: "r-1", Limit: "queue full", Detail: "</td><script>alert(1)</script>"}),
+		at(30_001, "e2", model.Event{Kind: model.EventUpstreamLeft, Instance: "i2", Pool: "log"}),
+		at(59_000, "a-process-with-a-very-long-name", model.Event{Kind: "kind\"><b>", Detail: "tab\tand\x1b[0m"}),
+	})
+}
+
+func objects(s report.Status) trail.Objects {
+	o := trail.Objects{
+		Now: s.Now, Contracts: map[model.Customer]model.Contract{}, Instances: map[model.InstanceID]model.Instance{},
+		Maintenance: map[string]model.Maintenance{},
+	}
+	for _, c := range s.Contracts {
+		o.Contracts[c.Customer] = c
+	}
+	for _, i := range s.Instances {
+		o.Instances[i.ID] = i
+	}
+	for _, m := range s.Maintenance {
+		o.Maintenance[m.Name] = m
+	}
+	for _, p := range s.Processes {
+		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, Drained: p.Drained, Seen: p.Seen})
+	}
+	return o
+}
+
+type renderer func(w io.Writer, f report.Format) error
+
+func renderers() map[string]renderer {
+	s := status()
+	o := objects(s)
+	explain := func(x trail.Explanation) renderer {
+		return func(w io.Writer, f report.Format) error { return report.Explain(w, f, x) }
+	}
+	return map[string]renderer{
+		"contracts":   func(w io.Writer, f report.Format) error { return report.Contracts(w, f, s) },
+		"contract":    func(w io.Writer, f report.Format) error { return report.Contract(w, f, s, "pruefkette") },
+		"instances":   func(w io.Writer, f report.Format) error { return report.Instances(w, f, s, model.Selector{}) },
+		"maintenance": func(w io.Writer, f report.Format) error { return report.Maintenance(w, f, s) },
+		"status":      func(w io.Writer, f report.Format) error { return report.Overview(w, f, s) },
+		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, events()) },
+		"customer":    explain(trail.ExplainCustomer(o, events(), "pruefkette")),
+		"instance":    explain(trail.ExplainInstance(o, events(), "i2")),
+		"request":     explain(trail.ExplainRequest(o, events(), "r-1")),
+		"unknown":     explain(trail.ExplainRequest(o, events(), "r-9")),
+	}
+}
+
+// TestReports guards against changes of the columns and keys that operators
+// and their scripts rely on, control characters that reach a terminal, and
+// JSON that is invalid or has null in place of a list.
+func TestReports(t *testing.T) {
+	for name, render := range renderers() {
+		t.Run(name, func(t *testing.T) {
+			var text, js bytes.Buffer
+			assert.NilError(t, render(&text, report.FormatText))
+			assert.Assert(t, !strings.ContainsRune(text.String(), '\x1b'))
+			golden.Assert(t, text.String(), name+".txt")
+			assert.NilError(t, render(&js, report.FormatJSON))
+			assert.Assert(t, json.Valid(js.Bytes()))
+			assert.Assert(t, !strings.Contains(js.String(), "null"))
+			golden.Assert(t, js.String(), name+".json")
+			err := render(io.Discard, report.FormatHTML)
+			var e *report.Error
+			assert.Assert(t, name == "timeline" && err == nil || errors.As(err, &e) && e.Kind == report.KindFormat)
+		})
+	}
+}
+
+// TestPage guards against text from callers and upstreams that becomes markup
+// and against resources from other hosts.
+func TestPage(t *testing.T) {
+	var b bytes.Buffer
+	assert.NilError(t, report.Timeline(&b, report.FormatHTML, events()))
+	for _, s := range []string{"<script", "<b>", "http://", "https://", "src=", "url(", "\x1b"} {
+		assert.Assert(t, !strings.Contains(b.String(), s), s)
+	}
+	golden.Assert(t, b.String(), "timeline.html")
+	b.Reset()
+	assert.NilError(t, report.Timeline(&b, report.FormatHTML, nil))
+	golden.Assert(t, b.String(), "empty.html")
+}
+
+// TestPageIsBounded guards against a page that no browser opens.
+func TestPageIsBounded(t *testing.T) {
+	var many []model.Event
+	for i := range 25_000 {
+		many = append(many, model.Event{
+			Stamp: model.Stamp{Wall: start + clock.Millis(i*7)}, Process: model.Process(fmt.Sprintf("e%02d", i%20)),
+			Seq: uint64(i), Kind: model.EventRefused, Customer: "pomar-alto", Request: fmt.Sprintf("r-%d", i), Limit: "queue full",
+		})
+	}
+	var b bytes.Buffer
+	assert.NilError(t, report.Timeline(&b, report.FormatHTML, many))
+	assert.Assert(t, strings.Contains(b.String(), "5000 older events are left out"))
+	assert.Assert(t, b.Len() < 10<<20, "%d bytes", b.Len())
+	t.Logf("%d bytes", b.Len())
+}
+
+// TestPageOfFaultyStamps guards against a process with a broken clock whose
+// events make the page fail for all.
+func TestPageOfFaultyStamps(t *testing.T) {
+	var faulty []model.Event
+	for _, wall := range []clock.Millis{math.MaxInt64, 0, math.MinInt64, start} {
+		faulty = append(faulty, model.Event{Stamp: model.Stamp{Wall: wall}, Process: "e1", Kind: model.EventWait})
+	}
+	var b bytes.Buffer
+	assert.NilError(t, report.Timeline(&b, report.FormatHTML, faulty))
+	assert.Equal(t, strings.Count(b.String(), "<tr class"), len(faulty))
+}
+
+// TestNotFound guards against an empty report for a misspelt customer.
+func TestNotFound(t *testing.T) {
+	err := report.Contract(io.Discard, report.FormatText, status(), "pomar")
+	var e *report.Error
+	assert.Assert(t, errors.As(err, &e) && e.Kind == report.KindNotFound)
+	_, err = report.ParseFormat("yaml")
+	assert.ErrorContains(t, err, "yaml")
+}
+
+// TestEventCodec guards against a field that one direction forgets.
+func TestEventCodec(t *testing.T) {
+	text := func(t *rapid.T, name string) string { return rapid.StringN(0, 8, -1).Draw(t, name) }
+	rapid.Check(t, func(t *rapid.T) {
+		in := make([]model.Event, rapid.IntRange(0, 4).Draw(t, "n"))
+		for i := range in {
+			in[i] = model.Event{
+				Stamp:   model.Stamp{Wall: clock.Millis(rapid.Int64().Draw(t, "wall")), Count: rapid.Uint32().Draw(t, "count")},
+				Process: model.Process(text(t, "process")), Seq: rapid.Uint64().Draw(t, "seq"), Kind: model.EventKind(text(t, "kind")),
+				Customer: model.Customer(text(t, "customer")), Pool: model.Pool(text(t, "pool")), Instance: model.InstanceID(text(t, "instance")),
+				Request: text(t, "request"), Version: model.Version(rapid.Uint64().Draw(t, "version")), Limit: text(t, "limit"), Detail: text(t, "detail"),
+			}
+		}
+		data, err := report.EventsToJSON(in)
+		assert.NilError(t, err)
+		out, err := report.EventsFromJSON(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, in, out)
+	})
+}
+
+// TestEventDecodeErrors guards against a damaged response that is taken for
+// events.
+func TestEventDecodeErrors(t *testing.T) {
+	whole := `{"stamp-ms":1,"stamp-count":0,"process":"e1","seq":1,"kind":"wait","new-key":[]}`
+	events, err := report.EventsFromJSON([]byte("[" + whole + "]"))
+	assert.NilError(t, err)
+	assert.Equal(t, events[0].Kind, model.EventWait)
+	for _, bad := range []string{
+		"", "{}", "[1]", "[" + whole, strings.Replace("["+whole+"]", `"seq":1`, `"seq":-1`, 1),
+		strings.Replace("["+whole+"]", `"seq":1,`, "", 1),
+	} {
+		_, err := report.EventsFromJSON([]byte(bad))
+		var e *report.Error
+		assert.Assert(t, errors.As(err, &e) && e.Kind == report.KindDecode, bad)
+	}
+}
--- /dev/null
+++ b/io/proto/report/text.go
@@ -0,0 +1,94 @@
+package report
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"camphorridge/core/state/clock"
+)
+
+// table is a text table with aligned columns.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func newTable(head ...string) *table { return &table{head: head} }
+
+// add appends a row. Empty cells are shown as "-", so that columns can be
+// split at white space.
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = clean(fmt.Sprint(c))
+		if row[i] == "" {
+			row[i] = "-"
+		}
+	}
+	t.rows = append(t.rows, row)
+}
+
+// String returns the table with two spaces between the columns.
+func (t *table) String() string {
+	width := make([]int, len(t.head))
+	for _, row := range append([][]string{t.head}, t.rows...) {
+		for i, c := range row {
+			width[i] = max(width[i], utf8.RuneCountInString(c))
+		}
+	}
+	var b strings.Builder
+	for _, row := range append([][]string{t.head}, t.rows...) {
+		var line strings.Builder
+		for i, c := range row {
+			line.WriteString(c)
+			line.WriteString(strings.Repeat(" ", width[i]-utf8.RuneCountInString(c)+2))
+		}
+		b.WriteString(strings.TrimRight(line.String(), " "))
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// clean replaces control characters, which could break lines or drive the
+// operator's terminal: some texts come from upstreams and callers.
+func clean(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) || !unicode.IsPrint(r) && r != ' ' {
+			return '\uFFFD'
+		}
+		return r
+	}, s)
+}
+
+// timeText returns a time in UTC; "never" for 0.
+func timeText(m clock.Millis) string {
+	if m == 0 {
+		return "never"
+	}
+	return time.UnixMilli(int64(m)).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+// spanText returns a duration in the largest unit that divides it.
+func spanText(m clock.Millis) string {
+	for _, u := range []struct {
+		unit clock.Millis
+		name string
+	}{{clock.Day, "d"}, {clock.Hour, "h"}, {clock.Minute, "min"}, {clock.Second, "s"}} {
+		if m != 0 && m%u.unit == 0 {
+			return strconv.FormatInt(int64(m/u.unit), 10) + u.name
+		}
+	}
+	return strconv.FormatInt(int64(m), 10) + "ms"
+}
+
+// ageText returns the time since then, rounded to 0.1 s; "never" for 0.
+func ageText(now, then clock.Millis) string {
+	if then == 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1fs", float64(now-then)/float64(clock.Second))
+}
