Fix transitions and bounds of the replicated state and test it

Cause: property tests against the state machine found that - a release could end in another pool than its target, maintenance could be entered with another pool or returned from into another one, and a retired instance could come back; - one change could hold two steps for an instance, both checked against the state before it; - an outcome that came late or twice could release a key whose request had run, so that it could run again; a claim without a token was granted to everyone; - the second of two cancellations of a maintenance got no winner; - a delta on a zero table panicked; - removed objects, retired instances and removed keys of a memory were kept without a bound, and each touch beyond the limit copied all touches. Change: a table of transitions; only a release towards a pool changes a pool; the first outcome of a claim stands; MaxRemoved, MaxRetired and a compaction of the memory bound what is kept.

--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"strings"
 
 	"camphorridge/core/state/model"
 )
@@ -53,16 +56,69 @@
 
 // conflict names the winner of a change against an outdated version.
 func (s *State) conflict(object string, current model.Version, differs []string) model.Result {
-	a := s.Authors[object]
+	a, known := s.Authors[object]
+	reason := fmt.Sprintf("%s is at version %d", object, current)
+	if current == 0 {
+		reason = object + " does not exist"
+		if known {
+			reason = object + " was removed"
+		}
+	}
 	return model.Result{
 		Kind:    model.ResultConflict,
 		Version: max(current, a.Version),
 		Winner:  a.Name,
 		Differs: differs,
-		Reason:  fmt.Sprintf("%s is at version %d", object, current),
+		Reason:  reason,
+	}
+}
+
+// missing answers a removal of an object that does not exist. When its
+// removal is still remembered, that removal won against this one.
+func (s *State) missing(object string) model.Result {
+	if _, known := s.Authors[object]; known {
+		return s.conflict(object, 0, nil)
+	}
+	return invalid(object + " does not exist")
+}
+
+// removed records who removed an object and forgets the oldest removals. Half
+// of them go at once, so that the search for the oldest is paid once for many
+// removals.
+func (s *State) removed(object, author string, index model.Version) {
+	s.Authors[object] = Author{Name: author, Version: index}
+	over := len(s.Authors) - len(s.Contracts) - len(s.Instances) - len(s.Maintenance) - MaxRemoved
+	if over <= 0 {
+		return
+	}
+	gone := make([]string, 0, MaxRemoved+over)
+	for o := range s.Authors {
+		if !s.exists(o) {
+			gone = append(gone, o)
+		}
+	}
+	slices.SortFunc(gone, func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.Authors[a].Version, s.Authors[b].Version), cmp.Compare(a, b))
+	})
+	for _, o := range gone[:len(gone)-MaxRemoved/2] {
+		delete(s.Authors, o)
 	}
 }
 
+func (s *State) exists(object string) bool {
+	kind, name, _ := strings.Cut(object, " ")
+	var ok bool
+	switch kind {
+	case "contract":
+		_, ok = s.Contracts[model.Customer(name)]
+	case "instance":
+		_, ok = s.Instances[model.InstanceID(name)]
+	case "maintenance":
+		_, ok = s.Maintenance[name]
+	}
+	return ok
+}
+
 func (s *State) applyContract(index model.Version, c model.Change) model.Result {
 	name := c.Contract.Customer
 	if name == "" {
@@ -85,16 +141,13 @@
 	held, ok := s.Contracts[c.Customer]
 	object := "contract " + string(c.Customer)
 	if !ok {
-		if a, known := s.Authors[object]; known {
-			return model.Result{Kind: model.ResultConflict, Version: a.Version, Winner: a.Name, Reason: object + " was removed"}
-		}
-		return invalid(object + " does not exist")
+		return s.missing(object)
 	}
 	if held.Version != c.Base {
 		return s.conflict(object, held.Version, nil)
 	}
 	delete(s.Contracts, c.Customer)
-	s.Authors[object] = Author{Name: c.Author, Version: index}
+	s.removed(object, c.Author, index)
 	s.touch(Touch{Version: index, Contract: c.Customer})
 	return model.Result{Version: index}
 }
@@ -120,13 +173,13 @@
 	held, ok := s.Maintenance[c.Maintenance.Name]
 	object := "maintenance " + c.Maintenance.Name
 	if !ok {
-		return invalid(object + " does not exist")
+		return s.missing(object)
 	}
 	if held.Version != c.Base {
 		return s.conflict(object, held.Version, nil)
 	}
 	delete(s.Maintenance, c.Maintenance.Name)
-	s.Authors[object] = Author{Name: c.Author, Version: index}
+	s.removed(object, c.Author, index)
 	return model.Result{Version: index}
 }
 
@@ -139,7 +192,7 @@
 		}
 	}
 	add("covers", a.Covers != b.Covers)
-	add("pools", !equalShares(a.Pools, b.Pools))
+	add("pools", !slices.Equal(a.Pools, b.Pools))
 	add("concurrency", a.Concurrency != b.Concurrency)
 	add("queue", a.Queue != b.Queue)
 	add("retry-percent", a.RetryPercent != b.RetryPercent)
@@ -152,18 +205,6 @@
 	return d
 }
 
-func equalShares(a, b []model.PoolShare) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func maintenanceDiff(a, b model.Maintenance) []string {
 	var d []string
 	if a.Selector != b.Selector {
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -4,12 +4,15 @@
 
 // applyClaims grants each key to the first attempt that asks for it. The same
 // attempt asking again, after a lost answer, is granted again as long as the
-// request was not finished.
+// request was not finished. A claim without a token is refused: two attempts
+// without one would both be granted.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
 		held, ok := s.Claims.Get(claim.Key)
 		switch {
+		case claim.Token == "" || claim.Key.Key == "":
+			r.Claims = append(r.Claims, model.ClaimAnswer{First: model.ClaimUnknown})
 		case !ok:
 			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
@@ -23,11 +26,13 @@
 }
 
 // applyOutcomes closes claims, or releases those whose request did not run.
-// Outcomes of other attempts than the holder are ignored.
+// Outcomes of other attempts than the holder are ignored, and so are later
+// outcomes of the holder: a request that is known to have run must not be
+// released by a message that was delayed or repeated.
 func (s *State) applyOutcomes(index model.Version, c model.Change) model.Result {
 	for _, o := range c.Outcomes {
 		held, ok := s.Claims.Get(o.Key)
-		if !ok || held.Token != o.Token {
+		if !ok || held.Token != o.Token || held.State != model.ClaimRunning {
 			continue
 		}
 		if o.NotRun {
--- a/core/state/fleet/memory.go
+++ b/core/state/fleet/memory.go
@@ -27,6 +27,10 @@
 	time clock.Millis
 }
 
+// minCompact is the number of stale keys below which a compaction is not
+// worth its copy.
+const minCompact = 64
+
 // NewMemory returns an empty memory.
 func NewMemory[K comparable, V any](limit int, lifetime clock.Millis) *Memory[K, V] {
 	return &Memory[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]remembered[V]{}}
@@ -44,6 +48,23 @@
 	m.items[k] = remembered[V]{value: v, time: now, id: m.next}
 	m.order = append(m.order, orderedKey[K]{key: k, id: m.next, time: now})
 	m.Expire(now)
+	m.compact()
+}
+
+// compact drops the keys that were removed or put again once they outnumber
+// the keys held. Without it a single old key at the front would keep every
+// key removed after it for a whole lifetime.
+func (m *Memory[K, V]) compact() {
+	if len(m.order) <= 2*len(m.items)+minCompact {
+		return
+	}
+	kept := make([]orderedKey[K], 0, len(m.items))
+	for _, o := range m.order {
+		if r, ok := m.items[o.key]; ok && r.id == o.id {
+			kept = append(kept, o)
+		}
+	}
+	m.order = kept
 }
 
 // Update changes the value of a key without making it younger. It does
--- /dev/null
+++ b/core/state/fleet/memory_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+)
+
+// TestMemoryBounds guards against a memory that outgrows its limit, that
+// forgets in another order than that of the Puts, or whose bookkeeping grows
+// with removed keys while an old key stays.
+func TestMemoryBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMemory[int, int](5, 100)
+		now := clock.Millis(0)
+		for n := range 400 {
+			now += clock.Millis(rapid.IntRange(0, 3).Draw(t, "pass"))
+			k := rapid.IntRange(0, 9).Draw(t, "key")
+			if rapid.IntRange(0, 2).Draw(t, "remove") == 0 {
+				m.Remove(k)
+				continue
+			}
+			m.Put(k, n, now)
+			v, ok := m.Get(k)
+			assert.Assert(t, ok && v == n)
+			assert.Assert(t, m.Len() <= m.Limit)
+			assert.Assert(t, len(m.order) <= 2*m.Len()+minCompact+1, "%d keys in order for %d held", len(m.order), m.Len())
+			last := clock.Millis(-1)
+			m.Each(func(_, _ int, at clock.Millis) {
+				assert.Assert(t, at >= last && at+m.Lifetime > now)
+				last = at
+			})
+		}
+	})
+}
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -17,6 +17,14 @@
 	// MaxTouches is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
 	MaxTouches = 10_000
+	// MaxRemoved is the number of removed objects whose removal is remembered
+	// to name the winner of a conflict. Operators notice a conflict within
+	// hours; the target scale has 2,300 changes a day.
+	MaxRemoved = 10_000
+	// MaxRetired is the number of retired instances that stay in the table.
+	// They are part of every full table, and 900 instances may be replaced a
+	// day, so that the table would grow without a bound.
+	MaxRetired = 1_000
 )
 
 // State is the replicated state.
@@ -36,9 +44,11 @@
 	Results *Memory[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
 	Claims *Memory[model.ClaimKey, HeldClaim]
-	// Authors names who last changed or removed an object, for conflicts.
+	// Authors names who last changed or removed an object, for conflicts; at
+	// most MaxRemoved of the objects do not exist any more.
 	Authors map[string]Author
-	// Touches lists the latest table changes in ascending order of version.
+	// Touches lists the latest table changes in ascending order of version;
+	// at most MaxTouches.
 	Touches []Touch
 }
 
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -1,23 +1,44 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"camphorridge/core/state/model"
 )
 
+// transitions lists the phases that may follow on a phase. Leaving a pool, be
+// it for another pool, for maintenance or for good, always starts with a
+// release, because only a release makes the entry processes of the zone
+// confirm that their requests ended. Nothing follows on retired.
+var transitions = [...][]model.Phase{
+	model.PhaseServing:     {model.PhaseServing, model.PhaseReleasing},
+	model.PhaseReleasing:   {model.PhaseServing, model.PhaseMaintenance, model.PhaseRetired},
+	model.PhaseMaintenance: {model.PhaseServing, model.PhaseMaintenance, model.PhaseRetired},
+	model.PhaseRetired:     nil,
+}
+
 // stepInstances applies all steps or none, so that a batch that was decided
 // on an outdated state changes nothing.
 func (s *State) stepInstances(index model.Version, c model.Change) model.Result {
+	seen := make(map[model.InstanceID]bool, len(c.Instances))
 	for _, step := range c.Instances {
-		held := s.Instances[step.Instance.ID]
+		id := step.Instance.ID
+		if seen[id] {
+			// Both steps would be checked against the state before the batch.
+			return invalid(fmt.Sprintf("two steps for instance %s in one change", id))
+		}
+		seen[id] = true
+		held := s.Instances[id]
 		if held.Version != step.Base {
-			return s.conflict("instance "+string(step.Instance.ID), held.Version, nil)
+			return s.conflict("instance "+string(id), held.Version, nil)
 		}
 		if err := checkStep(held, step.Instance); err != "" {
 			return invalid(err)
 		}
 	}
+	retired := false
 	for _, step := range c.Instances {
 		next := step.Instance
 		next.Version = index
@@ -25,6 +46,10 @@
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
 		s.touch(Touch{Version: index, Instance: next.ID})
+		retired = retired || next.Phase == model.PhaseRetired
+	}
+	if retired {
+		s.dropRetired(index)
 	}
 	return model.Result{Version: index}
 }
@@ -33,28 +58,70 @@
 // instance belongs to exactly one pool; empty when it is allowed.
 func checkStep(held, next model.Instance) string {
 	switch {
-	case next.ID == "" || next.Pool == "":
-		return "the step names no instance or no pool"
+	case next.ID == "" || next.Pool == "" || next.Zone == "":
+		return "the step names no instance, no pool or no zone"
+	case next.Phase < 0 || int(next.Phase) >= len(transitions):
+		return fmt.Sprintf("instance %s: unknown phase %d", next.ID, next.Phase)
+	case next.Slots < 0 || next.Connections < 0:
+		return fmt.Sprintf("instance %s has a negative number of slots or connections", next.ID)
+	case next.Phase == model.PhaseReleasing && next.Target == "":
+		return fmt.Sprintf("the release of instance %s names no target pool", next.ID)
 	case held.ID == "":
-		return ""
+		return checkEnrol(next)
 	case held.Zone != next.Zone:
 		return fmt.Sprintf("instance %s is in zone %s, not %s", held.ID, held.Zone, next.Zone)
-	case held.Phase == model.PhaseServing && next.Phase == model.PhaseServing && held.Pool != next.Pool,
-		held.Phase == model.PhaseServing && next.Phase == model.PhaseMaintenance:
-		return fmt.Sprintf("instance %s was not released from pool %s", held.ID, held.Pool)
-	case held.Phase == model.PhaseReleasing && next.Phase == model.PhaseReleasing:
-		return fmt.Sprintf("instance %s is being released already", held.ID)
-	case next.Phase == model.PhaseReleasing && next.Pool != held.Pool:
-		return fmt.Sprintf("instance %s is released from pool %s, not %s", held.ID, held.Pool, next.Pool)
+	case !slices.Contains(transitions[held.Phase], next.Phase):
+		return fmt.Sprintf("instance %s of pool %s is %s and cannot become %s", held.ID, held.Pool, held.Phase, next.Phase)
+	case held.Pool != next.Pool && !finishesMove(held, next):
+		return fmt.Sprintf("instance %s was not released from pool %s to pool %s", held.ID, held.Pool, next.Pool)
+	}
+	return ""
+}
+
+func checkEnrol(next model.Instance) string {
+	if next.Phase != model.PhaseServing && next.Phase != model.PhaseMaintenance {
+		return fmt.Sprintf("instance %s cannot be enrolled as %s", next.ID, next.Phase)
 	}
 	return ""
 }
 
+// finishesMove reports whether the step is the only one that changes a pool:
+// from a release towards that very pool.
+func finishesMove(held, next model.Instance) bool {
+	return held.Phase == model.PhaseReleasing && next.Phase == model.PhaseServing && next.Pool == held.Target
+}
+
+// dropRetired removes the instances that were retired first when there are
+// too many. Their names may be enrolled again: each left its pool by a
+// confirmed release.
+func (s *State) dropRetired(index model.Version) {
+	var retired []model.Instance
+	for _, i := range s.Instances {
+		if i.Phase == model.PhaseRetired {
+			retired = append(retired, i)
+		}
+	}
+	over := len(retired) - MaxRetired
+	if over <= 0 {
+		return
+	}
+	slices.SortFunc(retired, func(a, b model.Instance) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.ID, b.ID))
+	})
+	for _, i := range retired[:over] {
+		delete(s.Instances, i.ID)
+		delete(s.Authors, "instance "+string(i.ID))
+		s.touch(Touch{Version: index, Instance: i.ID})
+	}
+}
+
 func (s *State) touch(t Touch) {
 	s.Version = t.Version
 	s.Touches = append(s.Touches, t)
 	if over := len(s.Touches) - MaxTouches; over > 0 {
-		s.Touches = append([]Touch(nil), s.Touches[over:]...)
+		// The front is cut off without a copy; append moves the rest to a new
+		// array when this one is full.
+		s.Touches = s.Touches[over:]
 	}
 }
 
@@ -135,6 +202,12 @@
 		t.Contracts = make(map[model.Customer]model.Contract, len(d.Contracts))
 		t.Instances = make(map[model.InstanceID]model.Instance, len(d.Instances))
 	}
+	if t.Contracts == nil {
+		t.Contracts = map[model.Customer]model.Contract{}
+	}
+	if t.Instances == nil {
+		t.Instances = map[model.InstanceID]model.Instance{}
+	}
 	for _, c := range d.Contracts {
 		t.Contracts[c.Customer] = c
 	}
