Benchmark the dispatcher and the front end; close gaps of the first version

Cause: the first version had no figures, and reading it again showed faults: a removed contract forgot its requests in flight, the outcome of a request to an earlier process of an upstream was counted against the present one, and a grant for an earlier incarnation could use a connection to the present one.

Change: accounts stay until their requests end; a slot carries generation and incarnation; uplink refuses requests for an earlier incarnation; records of unused upstreams are dropped.

--- /dev/null
+++ b/core/coord/entry/bench_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkAsk measures one Ask with its Done, from 64 goroutines for each
+// processor.
+func BenchmarkAsk(b *testing.B) {
+	d := start(b, 1000, contract("acme", 100_000, 1000))
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	b.ReportAllocs()
+	b.SetParallelism(6)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			g, f := d.Ask(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+			if f != nil {
+				b.Errorf("refused: %s", f.Reason)
+				return
+			}
+			d.Done(g.Ticket, OutcomeOK, 1)
+		}
+	})
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "asks/s")
+	assert.Equal(b, d.Snapshot().Counts.Dones, int64(b.N))
+}
+
+// BenchmarkRefuse measures asks that are refused because the queue is full.
+func BenchmarkRefuse(b *testing.B) {
+	d := start(b, 1, contract("acme", 1, 0))
+	_, f := d.Ask(b.Context(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+	assert.Assert(b, f == nil)
+	b.ReportAllocs()
+	b.SetParallelism(6)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, f := d.Ask(context.Background(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}); f == nil {
+				b.Error("granted beyond the share")
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "asks/s")
+}
+
+func contract(name model.Customer, inFlight, queue int) model.Contract {
+	return model.Contract{
+		Customer: name, Concurrency: inFlight, Queue: queue, RetryPercent: 10,
+		Pools: []model.PoolShare{{Pool: "svc", Instances: 1}},
+	}
+}
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/member"
@@ -24,7 +25,7 @@
 		d.asks.Put(a)
 		return g, f
 	case <-ctx.Done():
-		return d.giveUp(a)
+		return d.giveUp(ctx, a)
 	case <-d.done:
 		return Grant{}, stopped()
 	}
@@ -32,7 +33,7 @@
 
 // giveUp cancels an ask. The ask is not used again, because the dispatcher may
 // still see the cancel after its answer.
-func (d *Dispatcher[P, Q]) giveUp(a *ask) (Grant, *Refusal) {
+func (d *Dispatcher[P, Q]) giveUp(ctx context.Context, a *ask) (Grant, *Refusal) {
 	if !d.in.PutWait(message{kind: messageCancel, ask: a}, d.done) {
 		return Grant{}, stopped()
 	}
@@ -41,10 +42,15 @@
 	case <-d.done:
 		return Grant{}, stopped()
 	}
-	if a.refusal != nil {
+	switch {
+	case a.refusal == nil:
+		d.Done(a.grant.Ticket, OutcomeCancelled, 0)
+	case a.refusal.Kind != RefusalCancelled:
 		return Grant{}, a.refusal
 	}
-	d.Done(a.grant.Ticket, OutcomeCancelled, 0)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Grant{}, &Refusal{Kind: RefusalDeadline, Reason: "the deadline passed", RetryAfter: clock.Second}
+	}
 	return Grant{}, &Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"}
 }
 
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -30,9 +30,9 @@
 	// While others wait that could run, the newcomer joins the queue, so that
 	// the choice stays fair.
 	if line.CanRun() && line.Len() == 0 && !d.gate.Waits(r.Pool) {
-		if u := d.router.Pick(now, r.Pool, r.Avoid); u != nil {
+		if h, ok := d.router.Pick(now, r.Pool, r.Avoid); ok {
 			d.gate.Start(line)
-			d.grant(a, line, u)
+			d.grant(a, line, h)
 			return
 		}
 	}
@@ -78,23 +78,23 @@
 // pump starts waiters of a pool while upstreams have room.
 func (d *Dispatcher[P, Q]) pump(now clock.Millis, p model.Pool) {
 	for d.gate.Waits(p) {
-		u := d.router.Pick(now, p, "")
-		if u == nil {
+		h, ok := d.router.Pick(now, p, "")
+		if !ok {
 			return
 		}
 		w, late := d.gate.Next(now, p, d.late[:0])
 		d.late = late
 		d.refuseLate()
 		if w == nil {
-			d.router.Return(u)
+			d.router.Return(h)
 			return
 		}
 		w.Ref.waiter = nil
-		d.grant(w.Ref, w.Line(), u)
+		d.grant(w.Ref, w.Line(), h)
 	}
 }
 
-func (d *Dispatcher[P, Q]) grant(a *ask, line *admit.Line[*ask], u *route.Upstream) {
+func (d *Dispatcher[P, Q]) grant(a *ask, line *admit.Line[*ask], h route.Held) {
 	var at uint32
 	if n := len(d.free); n > 0 {
 		at = d.free[n-1]
@@ -104,7 +104,8 @@
 		d.flights = append(d.flights, flight{})
 	}
 	f := &d.flights[at]
-	f.line, f.upstream, f.generation = line, u, u.Generation
+	f.line, f.held = line, h
+	u := h.Upstream
 	f.number++
 	d.counts.Grants++
 	a.grant = Grant{
@@ -128,7 +129,7 @@
 	}
 	d.counts.Dones++
 	f := d.flights[at]
-	d.flights[at].line, d.flights[at].upstream = nil, nil
+	d.flights[at].line, d.flights[at].held = nil, route.Held{}
 	d.free = append(d.free, at)
 	elapsed := m.elapsed
 	if m.outcome == OutcomeCancelled || m.outcome == OutcomeConnect || m.outcome == OutcomeBusy {
@@ -136,9 +137,9 @@
 	}
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
-	if d.router.End(now, f.upstream, f.generation, m.outcome) {
+	if d.router.End(now, f.held, m.outcome) {
 		d.counts.Ejections++
-		d.event(model.Event{Kind: model.EventEjected, Instance: f.upstream.Instance, Pool: f.line.Pool, Limit: "failures"})
+		d.event(model.Event{Kind: model.EventEjected, Instance: f.held.Upstream.Instance, Pool: f.line.Pool, Limit: "failures"})
 	}
 	d.pump(now, f.line.Pool)
 	if full && f.line.Account.Waiting > 0 {
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -56,9 +56,8 @@
 
 // flight is a granted request.
 type flight struct {
-	line       *admit.Line[*ask]
-	upstream   *route.Upstream
-	generation uint32
+	line *admit.Line[*ask]
+	held route.Held
 	// number makes the tickets of one place different over time.
 	number uint32
 }
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -65,6 +65,10 @@
 	// Retries is the number of retries that may be made now; at most
 	// retryBurst.
 	Retries float64
+	// removed says that the contract ended while requests were in flight. The
+	// account stays until they end, so that a new contract of the same name
+	// counts them.
+	removed bool
 	lines   map[model.Pool]*Line[R]
 }
 
@@ -100,6 +104,7 @@
 	}
 	share.Weight = max(share.Weight, 1)
 	a.Limit = share
+	a.removed = false
 	covered := make(map[model.Pool]bool, len(pools))
 	for _, p := range pools {
 		covered[p.Pool] = true
@@ -128,10 +133,18 @@
 	for _, l := range a.lines {
 		out = l.clear(out)
 	}
-	delete(g.customers, name)
+	a.removed = true
+	g.forget(a)
 	return out
 }
 
+// forget drops an account whose contract ended and that has nothing in flight.
+func (g *Gate[P, R]) forget(a *Account[R]) {
+	if a.removed && a.Running == 0 {
+		delete(g.customers, a.Customer)
+	}
+}
+
 func (g *Gate[P, R]) hall(p model.Pool) *hall[R] {
 	h := g.pools[p]
 	if h == nil {
@@ -145,7 +158,7 @@
 // can never run in this process.
 func (g *Gate[P, R]) Line(c model.Customer, p model.Pool) (*Line[R], Reason) {
 	a := g.customers[c]
-	if a == nil {
+	if a == nil || a.removed {
 		return nil, ReasonContract
 	}
 	l := a.lines[p]
@@ -177,6 +190,7 @@
 // End counts the end of a request. A run time below 0 is not learnt from.
 func (g *Gate[P, R]) End(l *Line[R], elapsed clock.Millis) {
 	l.Account.Running--
+	g.forget(l.Account)
 	if elapsed < 0 {
 		return
 	}
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -180,12 +180,20 @@
 	}
 }
 
-// Pick reserves a slot of an upstream of the pool, or returns nil when none
-// has room. The upstream to avoid is taken only when no other has room.
-func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) *Upstream {
+// Held is a reserved slot: the upstream with its generation and incarnation at
+// the time of the Pick.
+type Held struct {
+	Upstream    *Upstream
+	Generation  uint32
+	Incarnation uint64
+}
+
+// Pick reserves a slot of an upstream of the pool; ok is false when none has
+// room. The upstream to avoid is taken only when no other has room.
+func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Held, ok bool) {
 	g := r.pools[p]
 	if g == nil || len(g.members) == 0 {
-		return nil
+		return Held{}, false
 	}
 	r.candidates = r.candidates[:0]
 	var last *Upstream
@@ -205,16 +213,17 @@
 		last = r.candidates[r.policy.Choose(r.candidates, g.turn)].Upstream
 		g.turn++
 	}
-	if last != nil {
-		last.Running++
+	if last == nil {
+		return Held{}, false
 	}
-	return last
+	last.Running++
+	return Held{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
 }
 
 // Return gives back a reservation that was not used.
-func (r *Router[P]) Return(u *Upstream) {
-	u.Running--
-	r.forget(u)
+func (r *Router[P]) Return(h Held) {
+	h.Upstream.Running--
+	r.forget(h.Upstream)
 }
 
 // warm reports whether some upstream is past its slow start. Without one, as
@@ -266,18 +275,20 @@
 	return len(g.members), slots
 }
 
-// End gives a slot back. generation is that of the upstream at the time of the
-// Pick. It reports whether the upstream was ejected by this outcome.
-func (r *Router[P]) End(now clock.Millis, u *Upstream, generation uint32, o Outcome) (ejected bool) {
+// End gives a slot back and reports whether the upstream was ejected by this
+// outcome. The outcome of a request to an earlier process of the upstream says
+// nothing of the present one.
+func (r *Router[P]) End(now clock.Millis, h Held, o Outcome) (ejected bool) {
+	u := h.Upstream
 	u.Running--
-	if generation != u.Generation && u.Old > 0 {
+	if h.Generation != u.Generation && u.Old > 0 {
 		u.Old--
 		if u.Old == 0 {
 			u.Blocked = 0
 			delete(r.blocked, u.Instance)
 		}
 	}
-	if generation == u.Generation && u.Pool != "" {
+	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
 		ejected = r.learn(now, u, o)
 	}
 	r.forget(u)
--- /dev/null
+++ b/io/trans/front/bench_test.go
@@ -0,0 +1,133 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+)
+
+// callers is the number of connections of the throughput benchmarks.
+const callers = 64
+
+// caller is one connection that sends the same request again and again.
+type caller struct {
+	conn  net.Conn
+	in    *bufio.Reader
+	bytes []byte
+}
+
+func dialCaller(b testing.TB, address, header string) *caller {
+	c, err := net.Dial("tcp", address)
+	assert.NilError(b, err)
+	b.Cleanup(func() { _ = c.Close() })
+	return &caller{conn: c, in: bufio.NewReader(c), bytes: []byte("POST /svc/x HTTP/1.1\r\nHost: svc\r\n" + header + "Content-Length: 5\r\n\r\nhello")}
+}
+
+// call sends one request and returns the outcome header.
+func (c *caller) call() (outcome string, err error) {
+	if _, err = c.conn.Write(c.bytes); err != nil {
+		return "", err
+	}
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.Header.Get(HeaderOutcome), err
+}
+
+// burst sends n requests over the callers and returns the requests a second
+// and the median latency.
+func burst(b testing.TB, cs []*caller, n int) (rate, median float64) {
+	var left atomic.Int64
+	left.Store(int64(n))
+	var mu sync.Mutex
+	var all []time.Duration
+	var wg sync.WaitGroup
+	begun := time.Now()
+	for _, c := range cs {
+		wg.Go(func() {
+			var mine []time.Duration
+			for left.Add(-1) >= 0 {
+				t := time.Now()
+				if _, err := c.call(); err != nil {
+					b.Error(err)
+					return
+				}
+				mine = append(mine, time.Since(t))
+			}
+			mu.Lock()
+			all = append(all, mine...)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	rate = float64(n) / time.Since(begun).Seconds()
+	slices.Sort(all)
+	return rate, float64(all[len(all)/2].Microseconds())
+}
+
+func mid(v []float64) float64 {
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+// BenchmarkAgainstReverseProxy compares the front end with the standard
+// library's proxy and with a direct call, in alternating rounds of 20,000
+// requests over 64 connections; medians of the rounds are reported.
+func BenchmarkAgainstReverseProxy(b *testing.B) {
+	answer := make([]byte, 256)
+	up := upstream(b, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(answer)
+	})
+	g := newRig(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
+	target := &url.URL{Scheme: "http", Host: up}
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
+	ps := httptest.NewServer(proxy)
+	b.Cleanup(ps.Close)
+	sides := []struct {
+		name, address string
+		callers       []*caller
+		rates, times  []float64
+	}{
+		{name: "direct", address: up},
+		{name: "proxy", address: ps.Listener.Addr().String()},
+		{name: "front", address: g.url[len("http://"):]},
+	}
+	for i := range sides {
+		s := &sides[i]
+		for range callers {
+			s.callers = append(s.callers, dialCaller(b, s.address, HeaderCustomer+": acme\r\n"))
+		}
+		burst(b, s.callers, 5000)
+	}
+	b.ResetTimer()
+	for range b.N {
+		for i := range sides {
+			s := &sides[i]
+			rate, median := burst(b, s.callers, 20_000)
+			s.rates, s.times = append(s.rates, rate), append(s.times, median)
+		}
+	}
+	for i := range sides {
+		s := &sides[i]
+		b.ReportMetric(mid(s.rates), s.name+"-req/s")
+		b.ReportMetric(mid(s.times), s.name+"-us")
+	}
+	b.ReportMetric(mid(sides[2].rates)/mid(sides[1].rates), "front/proxy")
+}
--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -37,13 +37,15 @@
 		_ = http.NewResponseController(w).SetReadDeadline(past)
 	})
 	n, err := io.ReadFull(r.Body, buf)
-	slow.Stop()
+	intime := slow.Stop()
 	p := payload{head: buf[:n], size: r.ContentLength}
 	switch {
 	case errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && (r.ContentLength < 0 || int64(n) == r.ContentLength)):
 		p.whole, p.size = true, int64(n)
 	case err != nil:
 		return p, fail("body", KindBody, http.StatusBadRequest, "the body could not be read: %w", err)
+	case !intime:
+		return p, fail("body", KindBody, http.StatusBadRequest, "the body took longer than %d ms", cfg.Body)
 	case int64(n) == r.ContentLength:
 		p.whole = true
 	default:
--- a/io/trans/uplink/keep.go
+++ b/io/trans/uplink/keep.go
@@ -20,6 +20,7 @@
 			for _, p := range l.list() {
 				l.keep(p)
 			}
+			l.forget()
 		case <-l.done:
 			return nil
 		}
@@ -45,6 +46,24 @@
 	return out
 }
 
+// forgetAfter is the time without a request after which the record of an
+// upstream without connections is dropped.
+const forgetAfter = clock.Minute
+
+func (l *Link) forget() {
+	now := l.clk.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, p := range l.pools {
+		p.mu.Lock()
+		if p.open == 0 && now-p.used >= forgetAfter {
+			p.dropped = true
+			delete(l.pools, name)
+		}
+		p.mu.Unlock()
+	}
+}
+
 // keep closes what was not used for long, and probes what was idle.
 func (l *Link) keep(p *pool) {
 	now := l.clk.Now()
--- a/io/trans/uplink/link.go
+++ b/io/trans/uplink/link.go
@@ -64,7 +64,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p = l.pools[name]; p == nil {
-		p = &pool{cfg: l.cfg, clk: l.clk, counts: &l.counts, changed: make(chan struct{}, 1)}
+		p = &pool{cfg: l.cfg, clk: l.clk, counts: &l.counts, used: l.clk.Now(), changed: make(chan struct{}, 1)}
 		l.pools[name] = p
 	}
 	return p
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -48,6 +48,10 @@
 	idle []*conn
 	// settling is the number of connections with settling set.
 	settling int
+	// used is the time of the last request; dropped says that the link no
+	// longer holds the pool.
+	used    clock.Millis
+	dropped bool
 	// changed is signalled when a connection became idle or was closed.
 	changed chan struct{}
 }
@@ -69,7 +73,9 @@
 // take returns a connection ready for a request. The error is an *Error of
 // kind connect, share or cancelled; nothing was written then.
 func (p *pool) take(ctx context.Context, up Upstream, fresh bool) (*conn, error) {
-	p.renew(up)
+	if err := p.renew(up); err != nil {
+		return nil, err
+	}
 	for mayWait := true; ; mayWait = false {
 		c, next := p.next(fresh, mayWait)
 		switch next {
@@ -141,12 +147,18 @@
 }
 
 // renew notes what is known of the upstream now. Connections to an earlier
-// process of it are closed.
-func (p *pool) renew(up Upstream) {
+// process of it are closed. A request for an earlier process is refused: the
+// present one may serve another pool.
+func (p *pool) renew(up Upstream) error {
 	p.mu.Lock()
-	if up == p.up || up.Incarnation < p.up.Incarnation {
+	p.used = p.clk.Now()
+	if up == p.up && !p.dropped {
 		p.mu.Unlock()
-		return
+		return nil
+	}
+	if p.dropped || up.Incarnation < p.up.Incarnation {
+		p.mu.Unlock()
+		return fail("take", KindConnect, "the connections to incarnation %d of %s were given up", up.Incarnation, up.Name)
 	}
 	var old []*conn
 	if up.Incarnation != p.up.Incarnation || up.Address != p.up.Address {
@@ -155,6 +167,7 @@
 	p.up = up
 	p.mu.Unlock()
 	closeAll(old)
+	return nil
 }
 
 func closeAll(conns []*conn) {
