Resolve the leader by its name and let peers compile

Cause: an address in the member list need not be the one by which a process reaches the member. Change: the leader is named and resolved by the settings; the poller takes over what the watchdog did, as the dispatcher notices pauses itself.

--- a/core/coord/claim/claim.go
+++ b/core/coord/claim/claim.go
@@ -116,9 +116,9 @@
 }
 
 // Finish records how a claimed request ended. It does not wait; the outcome
-// is handed in again until the control group has it. It reports false when
-// too many outcomes wait, and the key then stays claimed.
-func (c *Claimer[P]) Finish(o model.ClaimOutcome) bool { return c.outcomes.Put(o) }
+// is handed in again until the control group has it. When too many outcomes
+// wait it is dropped and counted, and the key stays claimed.
+func (c *Claimer[P]) Finish(o model.ClaimOutcome) { c.outcomes.Put(o) }
 
 // Refused is the number of claims and outcomes that were turned away.
 func (c *Claimer[P]) Refused() int64 { return c.asks.Refused() + c.outcomes.Refused() }
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -19,6 +19,8 @@
 	opNews
 	opStatus
 	opConfig
+	opInstance
+	opLive
 )
 
 // command is a call that the duty answers; the fields of its op are set.
@@ -31,6 +33,11 @@
 	status Status
 	table  model.Table
 	err    error
+	// instance is asked for by its ID and answered; known says that the table
+	// has it.
+	instance model.Instance
+	known    bool
+	live     []model.Announcement
 	// reply is closed once the command was carried out.
 	reply chan struct{}
 }
@@ -54,6 +61,10 @@
 			Contracts: maps.Clone(d.table.Contracts),
 			Instances: maps.Clone(d.table.Instances),
 		}
+	case opInstance:
+		c.instance, c.known = d.table.Instances[c.instance.ID]
+	case opLive:
+		c.live = d.live(now)
 	}
 	close(c.reply)
 }
--- /dev/null
+++ b/core/coord/entry/lookup.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/member"
+	"camphorridge/core/state/model"
+)
+
+// Instance returns the table's entry of an instance; ok is false when the
+// table does not have it.
+func (d *Dispatcher[P, Q]) Instance(id model.InstanceID) (i model.Instance, ok bool) {
+	c := d.call(&command{op: opInstance, instance: model.Instance{ID: id}})
+	return c.instance, c.known
+}
+
+// Live returns the announcements whose lease holds. Its cost follows the
+// number of upstreams in the zone.
+func (d *Dispatcher[P, Q]) Live() []model.Announcement {
+	return d.call(&command{op: opLive}).live
+}
+
+func (d *Dispatcher[P, Q]) live(now clock.Millis) []model.Announcement {
+	var all []model.Announcement
+	d.roster.Each(func(r *member.Record) {
+		if r.Live(now) {
+			all = append(all, r.Announcement)
+		}
+	})
+	return all
+}
--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -19,9 +19,9 @@
 	retryWait clock.Millis = 250
 	// neighbourTimeout bounds one question to a neighbour.
 	neighbourTimeout clock.Millis = 500
-	// ReadyAfter is how long a starting process looks for a control member
-	// before it serves the table of a neighbour.
-	ReadyAfter = 5 * clock.Second
+	// aloneRounds is the number of rounds without a control member, about 5 s,
+	// after which a process goes by its neighbours, or by the table it has.
+	aloneRounds int = 20
 )
 
 // Offer hands a delta to the duty that owns the table. An error means that it
@@ -45,18 +45,19 @@
 	Neighbours []model.Member
 	source     S
 	offer      Offer
-	watch      *Watchdog
 	clock      clock.Clock
 	done       chan struct{}
 	version    atomic.Uint64
 	inForce    atomic.Int64
 	// contact is the time of the last answer of a control member.
 	contact atomic.Int64
+	// alone counts the rounds without an answer of a control member.
+	alone int
 }
 
 // NewPoller returns a poller for the process self.
-func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, w *Watchdog, c clock.Clock) *Poller[S] {
-	p := &Poller[S]{Self: self, source: s, offer: offer, watch: w, clock: c, done: make(chan struct{})}
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, c clock.Clock) *Poller[S] {
+	p := &Poller[S]{Self: self, source: s, offer: offer, clock: c, done: make(chan struct{})}
 	p.Control = append(p.Control, control...)
 	sort.SliceStable(p.Control, func(i, j int) bool {
 		a, b := p.Control[i].Zone == self.Zone, p.Control[j].Zone == self.Zone
@@ -87,12 +88,13 @@
 		<-p.done
 		cancel()
 	}()
-	started := p.clock.Now()
 	for !p.stopped() {
 		if p.pollControl(ctx) {
+			p.alone = 0
 			continue
 		}
-		p.askNeighbours(ctx, p.clock.Now()-started >= ReadyAfter)
+		p.alone++
+		p.goAlone(ctx)
 		select {
 		case <-p.clock.After(retryWait):
 		case <-p.done:
@@ -114,14 +116,13 @@
 }
 
 // pollControl asks the control members in turn and reports whether one
-// answered. A process that is not ready asks without waiting.
+// answered. Without a table it asks them not to wait.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
 	for _, m := range p.Control {
 		wait := WatchWait
-		if !p.watch.Confirmed() {
+		if p.Version() == 0 || p.alone > 0 {
 			wait = 0
 		}
-		mark := p.watch.Mark()
 		callCtx, cancel := context.WithTimeout(ctx, (wait + watchSlack).Duration())
 		d, err := p.source.Watch(callCtx, m, p.Version(), wait)
 		cancel()
@@ -132,33 +133,35 @@
 			continue
 		}
 		p.contact.Store(int64(p.clock.Now()))
-		p.watch.Confirm(mark)
 		return true
 	}
 	return false
 }
 
-// take offers the delta to the table's owner; an empty delta is taken as it is.
-// A member that is behind this process offers nothing that can be taken.
+// take offers the delta to the table's owner. An empty delta is offered too:
+// it confirms the table after a pause of this process. A member that is behind
+// this process offers nothing that can be taken.
 func (p *Poller[S]) take(d model.Delta) bool {
-	if d.To < p.Version() {
+	before := p.Version()
+	if d.To < before || p.offer(d) != nil {
 		return false
 	}
-	if !d.Full && d.To == p.Version() && d.From == d.To {
-		return true
-	}
-	if p.offer(d) != nil {
-		return false
+	if d.To > before || p.inForce.Load() == 0 {
+		p.version.Store(uint64(d.To))
+		p.inForce.Store(int64(p.clock.Now()))
 	}
-	p.version.Store(uint64(d.To))
-	p.inForce.Store(int64(p.clock.Now()))
 	return true
 }
 
-// askNeighbours takes the highest table of the zone. It makes the process
-// ready only when it has looked for a control member for long enough.
-func (p *Poller[S]) askNeighbours(ctx context.Context, enough bool) {
-	mark := p.watch.Mark()
+// goAlone goes by the neighbours' tables while no control member answers. A
+// process without a table first looks for a control member for some time, and
+// one that hears nobody goes on with the table it has: a partitioned zone must
+// serve what it can.
+func (p *Poller[S]) goAlone(ctx context.Context) {
+	enough := p.alone >= aloneRounds
+	if p.Version() == 0 && !enough {
+		return
+	}
 	answered := false
 	for _, m := range p.Neighbours {
 		callCtx, cancel := context.WithTimeout(ctx, neighbourTimeout.Duration())
@@ -169,7 +172,7 @@
 		}
 		answered = p.take(d) || answered
 	}
-	if enough && (answered || p.Version() > 0) {
-		p.watch.Confirm(mark)
+	if v := p.Version(); !answered && enough && v > 0 {
+		p.take(model.Delta{From: v, To: v})
 	}
 }
--- a/io/proto/codec/event.go
+++ b/io/proto/codec/event.go
@@ -42,13 +42,13 @@
 	}, nil
 }
 
-// MemberToWire maps a process of the settings.
-func MemberToWire(m model.Member) *wirepb.Member {
+// ProcessToWire maps a process of the settings.
+func ProcessToWire(m model.Member) *wirepb.Member {
 	return &wirepb.Member{Name: text(m.Name), Zone: text(m.Zone), Address: text(m.Address)}
 }
 
-// MemberFromWire maps a process of the settings.
-func MemberFromWire(w *wirepb.Member) model.Member {
+// ProcessFromWire maps a process of the settings.
+func ProcessFromWire(w *wirepb.Member) model.Member {
 	return model.Member{
 		Name: model.Process(w.GetName()), Zone: model.Zone(w.GetZone()), Address: w.GetAddress(),
 	}
--- /dev/null
+++ b/io/trans/cmds/change.go
@@ -0,0 +1,155 @@
+package cmds
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/io/proto/conf"
+	"camphorridge/io/proto/report"
+	"camphorridge/io/trans/peers"
+)
+
+// propose hands in a change and prints its result.
+func propose(o *options, p *operator, out io.Writer, c model.Change) error {
+	c.Author = o.author
+	if c.Author == "" {
+		c.Author = "operator"
+	}
+	c.Request = model.RequestID(o.request)
+	if c.Request == "" {
+		c.Request = model.RequestID(rand.Text())
+	}
+	r, err := p.leader.Propose(p.ctx, c)
+	if err != nil {
+		return failed("change", fmt.Errorf("it may or may not be accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
+	}
+	switch r.Kind {
+	case model.ResultConflict:
+		return failed("change", fmt.Errorf("conflict: %s, changed by %s at version %d; differs in: %s",
+			r.Reason, r.Winner, r.Version, strings.Join(r.Differs, ", ")))
+	case model.ResultInvalid:
+		return failed("change", errors.New("refused: "+r.Reason))
+	}
+	fmt.Fprintf(out, "accepted at version %d\n", r.Version)
+	if r.Reason != "" {
+		fmt.Fprintln(out, r.Reason)
+	}
+	return nil
+}
+
+// baseOf is the version that the operator named, or the one in force.
+func (o *options) baseOf(current model.Version) model.Version {
+	if o.base >= 0 {
+		return model.Version(o.base)
+	}
+	return current
+}
+
+func applyContract(o *options, out io.Writer) error {
+	c, err := load(o.file, conf.LoadContract)
+	if err != nil {
+		return err
+	}
+	return view(o, func(p *operator, v peers.Overview) error {
+		base := o.baseOf(contractVersion(v, c.Customer))
+		return propose(o, p, out, model.Change{Kind: model.ChangeContractApply, Base: base, Contract: c})
+	})
+}
+
+func contractVersion(v peers.Overview, name model.Customer) model.Version {
+	for _, c := range v.Status.Contracts {
+		if c.Customer == name {
+			return c.Version
+		}
+	}
+	return 0
+}
+
+func showContract(o *options, out io.Writer) error {
+	return view(o, func(_ *operator, v peers.Overview) error {
+		if err := report.Contract(out, o.format(), v.Status, model.Customer(o.name)); err != nil {
+			return failed("contract", err)
+		}
+		return nil
+	})
+}
+
+func listContracts(o *options, out io.Writer) error {
+	return view(o, func(_ *operator, v peers.Overview) error {
+		return report.Contracts(out, o.format(), v.Status)
+	})
+}
+
+func removeContract(o *options, out io.Writer) error {
+	name := model.Customer(o.name)
+	return view(o, func(p *operator, v peers.Overview) error {
+		base := o.baseOf(contractVersion(v, name))
+		return propose(o, p, out, model.Change{Kind: model.ChangeContractRemove, Base: base, Customer: name})
+	})
+}
+
+func maintenanceVersion(v peers.Overview, name string) model.Version {
+	for _, m := range v.Status.Maintenance {
+		if m.Name == name {
+			return m.Version
+		}
+	}
+	return 0
+}
+
+func declareMaintenance(o *options, out io.Writer) error {
+	deadline, err := parseDeadline(o.deadline, clock.Real().Now())
+	if err != nil {
+		return usage("--deadline", err)
+	}
+	m := model.Maintenance{
+		Name: o.name, Deadline: deadline,
+		Selector: model.Selector{
+			Pool: model.Pool(o.pool), Zone: model.Zone(o.zone),
+			Rack: model.Rack(o.rack), Instance: model.InstanceID(o.instance),
+		},
+	}
+	return view(o, func(p *operator, v peers.Overview) error {
+		base := o.baseOf(maintenanceVersion(v, m.Name))
+		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceDeclare, Base: base, Maintenance: m})
+	})
+}
+
+// parseDeadline reads a duration from now or a date and time.
+func parseDeadline(s string, now clock.Millis) (clock.Millis, error) {
+	if d, err := time.ParseDuration(s); err == nil {
+		if d <= 0 {
+			return 0, fmt.Errorf("%q: want a time above 0", s)
+		}
+		return now + clock.Of(d), nil
+	}
+	t, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		return 0, fmt.Errorf("%q: want a duration such as 36h or a time such as 2027-01-31T06:00:00Z", s)
+	}
+	at := clock.Millis(t.UnixMilli())
+	if at <= now {
+		return 0, fmt.Errorf("%q: want a time in the future", s)
+	}
+	return at, nil
+}
+
+func listMaintenance(o *options, out io.Writer) error {
+	return view(o, func(_ *operator, v peers.Overview) error {
+		return report.Maintenance(out, o.format(), v.Status)
+	})
+}
+
+func cancelMaintenance(o *options, out io.Writer) error {
+	return view(o, func(p *operator, v peers.Overview) error {
+		base := o.baseOf(maintenanceVersion(v, o.name))
+		m := model.Maintenance{Name: o.name}
+		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceCancel, Base: base, Maintenance: m})
+	})
+}
--- /dev/null
+++ b/io/trans/cmds/cmds.go
@@ -0,0 +1,204 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// Version is the program's version; releases set it when linking.
+var Version = "development"
+
+// Exit statuses.
+const (
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Kind tells the errors of the package apart.
+type Kind int
+
+// The kinds of error.
+const (
+	// KindUsage means that the command line, a setting or a file is wrong;
+	// nothing was done.
+	KindUsage Kind = iota
+	// KindFailed means that the operation failed.
+	KindFailed
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func usage(op string, err error) error { return &Error{Op: op, Kind: KindUsage, Err: err} }
+
+func failed(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
+
+// options holds the values of all flags and positional arguments.
+type options struct {
+	settings string
+	control  string
+	json     bool
+	file     string
+	name     string
+	kind     string
+	html     string
+	request  string
+	author   string
+	base     int
+	pool     string
+	zone     string
+	rack     string
+	instance string
+	deadline string
+}
+
+// command is a subcommand with what it runs.
+type command struct {
+	sub *flaggy.Subcommand
+	run func(o *options, out io.Writer) error
+}
+
+// Main runs the program and returns its exit status.
+func Main(args []string, out, errOut io.Writer) int {
+	o := &options{control: os.Getenv("CAMPHORRIDGE_CONTROL"), author: os.Getenv("USER"), base: -1}
+	p := flaggy.NewParser("camphorridge")
+	p.Description = "fleet capacity and maintenance manager"
+	p.DisableShowVersionWithVersion()
+	p.ShowHelpOnUnexpected = true
+	all := attach(p, o)
+	if err := p.ParseArgs(args); err != nil {
+		fmt.Fprintln(errOut, "camphorridge:", err)
+		return ExitUsage
+	}
+	for _, c := range all {
+		if !c.sub.Used {
+			continue
+		}
+		return exitStatus(c.run(o, out), errOut)
+	}
+	fmt.Fprintln(errOut, "camphorridge: name a subcommand; --help lists them")
+	return ExitUsage
+}
+
+func exitStatus(err error, errOut io.Writer) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(errOut, "camphorridge:", err)
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindUsage {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// attach adds all subcommands to the parser. Subcommands of a group come
+// before the group, so that the most exact one runs.
+func attach(p *flaggy.Parser, o *options) []command {
+	var all []command
+	add := func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand {
+		s := flaggy.NewSubcommand(name)
+		s.Description = description
+		if parent == nil {
+			p.AttachSubcommand(s, 1)
+		} else {
+			parent.AttachSubcommand(s, 1)
+		}
+		if run != nil {
+			all = append(all, command{sub: s, run: run})
+		}
+		return s
+	}
+	attachRoles(add, o)
+	attachContract(add, o)
+	attachMaintenance(add, o)
+	attachReports(add, o)
+	return all
+}
+
+// adder attaches one subcommand to a parent, or to the program for nil.
+type adder func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand
+
+func attachRoles(add adder, o *options) {
+	for _, s := range []*flaggy.Subcommand{
+		add(nil, "entry", "run an entry process", runEntry),
+		add(nil, "control", "run a control process", runControl),
+	} {
+		s.String(&o.settings, "s", "settings", "settings file")
+	}
+	check := add(nil, "check", "check a file without starting anything", runCheck)
+	check.AddPositionalValue(&o.kind, "kind", 1, true, "entry, control or contract")
+	check.AddPositionalValue(&o.file, "file", 2, true, "file to check")
+	add(nil, "version", "print the version", func(_ *options, out io.Writer) error {
+		fmt.Fprintln(out, "camphorridge", Version)
+		return nil
+	})
+}
+
+func attachContract(add adder, o *options) {
+	group := add(nil, "contract", "apply, show, list or remove contracts", nil)
+	apply := add(group, "apply", "apply the contract in a file", applyContract)
+	apply.AddPositionalValue(&o.file, "file", 1, true, "contract file")
+	show := add(group, "show", "show one contract", showContract)
+	show.AddPositionalValue(&o.name, "customer", 1, true, "customer of the contract")
+	list := add(group, "list", "list all contracts", listContracts)
+	remove := add(group, "remove", "remove a contract", removeContract)
+	remove.AddPositionalValue(&o.name, "customer", 1, true, "customer of the contract")
+	operatorFlags(o, apply, show, list, remove)
+	changeFlags(o, apply, remove)
+}
+
+func attachMaintenance(add adder, o *options) {
+	group := add(nil, "maintenance", "declare, list or cancel maintenance", nil)
+	declare := add(group, "declare", "declare that instances must be maintained by a deadline", declareMaintenance)
+	declare.AddPositionalValue(&o.name, "name", 1, true, "name of the declaration")
+	declare.String(&o.pool, "", "pool", "instances of this pool")
+	declare.String(&o.zone, "", "zone", "instances of this availability zone")
+	declare.String(&o.rack, "", "rack", "instances of this rack")
+	declare.String(&o.instance, "", "instance", "this instance")
+	declare.String(&o.deadline, "", "deadline", "time from now, such as 36h, or a date and time by RFC 3339")
+	list := add(group, "list", "list the declarations", listMaintenance)
+	cancel := add(group, "cancel", "cancel a declaration", cancelMaintenance)
+	cancel.AddPositionalValue(&o.name, "name", 1, true, "name of the declaration")
+	operatorFlags(o, declare, list, cancel)
+	changeFlags(o, declare, cancel)
+}
+
+func attachReports(add adder, o *options) {
+	status := add(nil, "status", "show which process runs which version, and what waits", showStatus)
+	instances := add(nil, "instances", "list the instances", listInstances)
+	explain := add(nil, "explain", "say what happened to a customer, an instance or a request, and why", explain)
+	explain.AddPositionalValue(&o.kind, "kind", 1, true, "customer, instance or request")
+	explain.AddPositionalValue(&o.name, "name", 2, true, "its name")
+	timeline := add(nil, "timeline", "show the events of all processes in causal order", showTimeline)
+	timeline.String(&o.html, "", "html", "write the time line as a page to this file")
+	operatorFlags(o, status, instances, explain, timeline)
+}
+
+func operatorFlags(o *options, all ...*flaggy.Subcommand) {
+	for _, s := range all {
+		s.String(&o.control, "c", "control", "peers addresses of control processes, by comma; default is CAMPHORRIDGE_CONTROL")
+		s.Bool(&o.json, "j", "json", "print JSON")
+	}
+}
+
+func changeFlags(o *options, all ...*flaggy.Subcommand) {
+	for _, s := range all {
+		s.String(&o.request, "", "request", "identity of the change, to resend one whose answer was lost")
+		s.String(&o.author, "", "author", "who makes the change; default is USER")
+		s.Int(&o.base, "", "base", "version that the change is made against; default is the one in force")
+	}
+}
--- /dev/null
+++ b/io/trans/cmds/operator.go
@@ -0,0 +1,202 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/trail"
+	"camphorridge/io/proto/report"
+	"camphorridge/io/trans/peers"
+)
+
+// callTimeout bounds one command; an election takes a few seconds at most.
+const callTimeout = 15 * time.Second
+
+// stamps keeps the hybrid clock of a command, so that its changes are ordered
+// after what it read.
+type stamps struct {
+	clock  clock.Clock
+	hybrid trail.Hybrid
+}
+
+func (s *stamps) Next() model.Stamp { return s.hybrid.Next(s.clock.Now()) }
+
+func (s *stamps) Observe(m model.Stamp) { s.hybrid.Observe(m, s.clock.Now()) }
+
+// operator calls the control group for one command.
+type operator struct {
+	client *peers.Client
+	leader *peers.Leader
+	clock  clock.Clock
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newOperator(o *options) (*operator, error) {
+	var members []model.Member
+	for _, a := range strings.Split(o.control, ",") {
+		a = strings.TrimSpace(a)
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return nil, usage("--control", fmt.Errorf("%q: want ip:port, by comma", a))
+		}
+		members = append(members, model.Member{Address: a})
+	}
+	clk := clock.Real()
+	c := peers.NewClient("operator", &stamps{clock: clk})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	return &operator{client: c, leader: peers.NewLeader(c, members, clk), clock: clk, ctx: ctx, cancel: cancel}, nil
+}
+
+func (p *operator) close() {
+	p.cancel()
+	p.client.Close()
+}
+
+// view asks the leader for its view and passes it on.
+func view(o *options, f func(p *operator, v peers.Overview) error) error {
+	p, err := newOperator(o)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	v, err := p.leader.Status(p.ctx)
+	if err != nil {
+		return failed("status", err)
+	}
+	return f(p, v)
+}
+
+func (o *options) format() report.Format {
+	if o.json {
+		return report.FormatJSON
+	}
+	return report.FormatText
+}
+
+func showStatus(o *options, out io.Writer) error {
+	return view(o, func(_ *operator, v peers.Overview) error {
+		if err := report.Overview(out, o.format(), v.Status); err != nil {
+			return failed("status", err)
+		}
+		if o.json {
+			return nil
+		}
+		for _, w := range v.Waits {
+			fmt.Fprintf(out, "waits: instance %s for %d ms: %s", w.Instance, v.Status.Now-w.Since, w.Reason)
+			if len(w.For) > 0 {
+				fmt.Fprintf(out, " (%s)", strings.Join(w.For, ", "))
+			}
+			fmt.Fprintln(out)
+		}
+		return nil
+	})
+}
+
+func listInstances(o *options, out io.Writer) error {
+	return view(o, func(_ *operator, v peers.Overview) error {
+		return report.Instances(out, o.format(), v.Status, model.Selector{})
+	})
+}
+
+// events asks every process for its events; those that do not answer are
+// named on the error output.
+func (p *operator) events(v peers.Overview) []model.Event {
+	var lists [][]model.Event
+	for _, m := range append(append([]model.Member(nil), v.Controls...), v.Entries...) {
+		ctx, cancel := context.WithTimeout(p.ctx, 2*time.Second)
+		events, dropped, err := p.client.Events(ctx, m.Address)
+		cancel()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "camphorridge: no events of %s: %v\n", m.Name, err)
+			continue
+		}
+		if dropped > 0 {
+			fmt.Fprintf(os.Stderr, "camphorridge: %s dropped its oldest %d events\n", m.Name, dropped)
+		}
+		lists = append(lists, events)
+	}
+	return trail.Merge(lists...)
+}
+
+func showTimeline(o *options, out io.Writer) error {
+	return view(o, func(p *operator, v peers.Overview) error {
+		events := p.events(v)
+		if o.html == "" {
+			return report.Timeline(out, o.format(), events)
+		}
+		f, err := os.Create(o.html)
+		if err != nil {
+			return failed("timeline", err)
+		}
+		if err := report.Timeline(f, report.FormatHTML, events); err != nil {
+			_ = f.Close()
+			return failed("timeline", err)
+		}
+		if err := f.Close(); err != nil {
+			return failed("timeline", err)
+		}
+		fmt.Fprintf(out, "%d events in %s\n", len(events), o.html)
+		return nil
+	})
+}
+
+func explain(o *options, out io.Writer) error {
+	return view(o, func(p *operator, v peers.Overview) error {
+		objects, events := objectsOf(v), p.events(v)
+		var x trail.Explanation
+		switch o.kind {
+		case "customer":
+			x = trail.ExplainCustomer(objects, events, model.Customer(o.name))
+		case "instance":
+			x = trail.ExplainInstance(objects, events, model.InstanceID(o.name))
+		case "request":
+			x = trail.ExplainRequest(objects, events, o.name)
+		default:
+			return usage("explain", fmt.Errorf("%q: want customer, instance or request", o.kind))
+		}
+		if err := report.Explain(out, o.format(), x); err != nil {
+			return failed("explain", err)
+		}
+		if !x.Known {
+			return failed("explain", errors.New("nothing is known of "+o.kind+" "+o.name))
+		}
+		return nil
+	})
+}
+
+func objectsOf(v peers.Overview) trail.Objects {
+	x := trail.Objects{
+		Now:         v.Status.Now,
+		Contracts:   map[model.Customer]model.Contract{},
+		Instances:   map[model.InstanceID]model.Instance{},
+		Maintenance: map[string]model.Maintenance{},
+	}
+	for _, c := range v.Status.Contracts {
+		x.Contracts[c.Customer] = c
+	}
+	for _, i := range v.Status.Instances {
+		x.Instances[i.ID] = i
+	}
+	for _, m := range v.Status.Maintenance {
+		x.Maintenance[m.Name] = m
+	}
+	seen := map[model.Process]report.ProcessStatus{}
+	for _, s := range v.Status.Processes {
+		seen[s.Name] = s
+	}
+	for _, m := range v.Entries {
+		s := seen[m.Name]
+		x.Processes = append(x.Processes, trail.Process{
+			Name: m.Name, Zone: m.Zone, Version: s.Version, Drained: s.Drained, Seen: s.Seen,
+		})
+	}
+	return x
+}
--- /dev/null
+++ b/io/trans/cmds/roles.go
@@ -0,0 +1,66 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"camphorridge/io/proto/conf"
+	"camphorridge/io/trans/roles"
+)
+
+func runEntry(o *options, _ io.Writer) error {
+	cfg, err := load(o.settings, conf.LoadEntry)
+	if err != nil {
+		return err
+	}
+	return role("entry", roles.RunEntry(cfg, os.Stderr))
+}
+
+func runControl(o *options, _ io.Writer) error {
+	cfg, err := load(o.settings, conf.LoadControl)
+	if err != nil {
+		return err
+	}
+	return role("control", roles.RunControl(cfg, os.Stderr))
+}
+
+func role(name string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return failed(name, err)
+}
+
+// load reads a file; a missing name and a wrong file are usage errors.
+func load[T any](file string, f func(string) (T, error)) (T, error) {
+	var none T
+	if file == "" {
+		return none, usage("settings", errors.New("name the file"))
+	}
+	v, err := f(file)
+	if err != nil {
+		return none, usage("settings", err)
+	}
+	return v, nil
+}
+
+func runCheck(o *options, out io.Writer) error {
+	var err error
+	switch o.kind {
+	case "entry":
+		_, err = conf.LoadEntry(o.file)
+	case "control":
+		_, err = conf.LoadControl(o.file)
+	case "contract":
+		_, err = conf.LoadContract(o.file)
+	default:
+		err = fmt.Errorf("%q is no kind of file: want entry, control or contract", o.kind)
+	}
+	if err != nil {
+		return usage("check", err)
+	}
+	fmt.Fprintf(out, "%s: valid %s file\n", o.file, o.kind)
+	return nil
+}
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/twitchtv/twirp"
 
@@ -71,7 +72,7 @@
 	if st.Role == raft.RoleLeader {
 		return nil
 	}
-	return notLeader(st.Leader.Address)
+	return notLeader(string(st.Leader.Name), st.Leader.Address)
 }
 
 // Propose hands a change to the group and answers with its result.
@@ -115,8 +116,9 @@
 // proposeError maps an error of the duty. Only an error before the proposal
 // may say that this member does not lead.
 func (s *ControlServer[G, M]) proposeError(err error) error {
-	if address, ok := NotLeaderAddress(err); ok {
-		return notLeader(address)
+	var le leaderError
+	if errors.As(err, &le) {
+		return notLeader(le.KnownLeader())
 	}
 	return twirp.NewError(twirp.Unknown, err.Error())
 }
@@ -198,10 +200,10 @@
 	}
 	fillMover(w, s.Mover.Status(ctx))
 	for _, m := range s.Controls {
-		w.Controls = append(w.Controls, codec.MemberToWire(m))
+		w.Controls = append(w.Controls, codec.ProcessToWire(m))
 	}
 	for _, m := range s.Entries {
-		w.Entries = append(w.Entries, codec.MemberToWire(m))
+		w.Entries = append(w.Entries, codec.ProcessToWire(m))
 	}
 	return w, nil
 }
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -90,14 +90,11 @@
 		if mapped.Kind == KindInvalid {
 			return mapped
 		}
-		if leader == next {
-			leader = ""
-		}
-		next = leader
-		if leader == "" {
+		next = l.follow(leader, next)
+		if next == "" {
 			l.remember("")
 		}
-		if leader == "" && n%len(l.Members) == len(l.Members)-1 {
+		if next == "" && n%len(l.Members) == len(l.Members)-1 {
 			l.wait(ctx)
 		}
 		if ctx.Err() != nil {
@@ -106,12 +103,12 @@
 	}
 }
 
-func (l *Leader) attempt(ctx context.Context, op, address string, f func(context.Context, wirepb.Control) error) (*Error, string) {
+func (l *Leader) attempt(ctx context.Context, op, address string, f func(context.Context, wirepb.Control) error) (*Error, model.Member) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout.Duration())
 	defer cancel()
 	err := f(ctx, l.client.remote(address).control)
 	if err == nil {
-		return nil, ""
+		return nil, model.Member{}
 	}
 	mapped, leader := fromTwirp(op, err)
 	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
@@ -120,6 +117,21 @@
 	return mapped, leader
 }
 
+// follow returns the address of the leader that a member named, or "" when it
+// named none or the one that was just asked.
+func (l *Leader) follow(leader model.Member, asked string) string {
+	address := leader.Address
+	for _, m := range l.Members {
+		if m.Name != "" && m.Name == leader.Name {
+			address = m.Address
+		}
+	}
+	if address == asked {
+		return ""
+	}
+	return address
+}
+
 func (l *Leader) wait(ctx context.Context) {
 	select {
 	case <-l.clock.After(roundWait):
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -19,7 +19,7 @@
 	// Hear takes one announcement; its refusal is not passed back, as the
 	// upstream hears it from the process that it announced itself to.
 	Hear   func(a model.Announcement)
-	Stamps   Stamps
+	Stamps Stamps
 }
 
 // Table answers with the process's table.
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -6,36 +6,17 @@
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/io/proto/codec"
+	"camphorridge/io/proto/report"
 	"camphorridge/io/proto/wirepb"
 )
 
 // Overview is the leader's view of the system.
 type Overview struct {
-	Member      model.Process
-	Leader      model.Process
-	Role        string
-	Term        uint64
-	Commit      uint64
-	Version     model.Version
-	Now         clock.Millis
-	Contracts   []model.Contract
-	Instances   []model.Instance
-	Maintenance []model.Maintenance
-	Processes   []ProcessOverview
-	Controls    []model.Member
-	Entries     []model.Member
-	Waits       []WaitOverview
-}
-
-// ProcessOverview is what the leader heard of an entry process.
-type ProcessOverview struct {
-	Name        model.Process
-	Zone        model.Zone
-	Version     model.Version
-	Drained     model.Version
-	Since       clock.Millis
-	Seen        clock.Millis
-	Incarnation uint64
+	Status report.Status
+	// Controls and Entries list the configured processes.
+	Controls []model.Member
+	Entries  []model.Member
+	Waits    []WaitOverview
 }
 
 // WaitOverview says for whom the step of an instance waits.
@@ -61,23 +42,24 @@
 }
 
 func overviewFromWire(w *wirepb.StatusResponse) (Overview, error) {
-	o := Overview{
+	o := Overview{Status: report.Status{
 		Member: model.Process(w.GetMember()), Leader: model.Process(w.GetLeader()), Role: w.GetRole(),
-		Term: w.GetTerm(), Commit: w.GetCommit(), Version: model.Version(w.GetVersion()),
+		Term: w.GetTerm(), Commit: model.Version(w.GetCommit()), Version: model.Version(w.GetVersion()),
 		Now: clock.Millis(w.GetNowMs()),
-	}
+	}}
+	st := &o.Status
 	var err error
-	if o.Contracts, err = each(w.GetContracts(), codec.ContractFromWire); err != nil {
+	if st.Contracts, err = each(w.GetContracts(), codec.ContractFromWire); err != nil {
 		return o, err
 	}
-	if o.Instances, err = each(w.GetInstances(), codec.InstanceFromWire); err != nil {
+	if st.Instances, err = each(w.GetInstances(), codec.InstanceFromWire); err != nil {
 		return o, err
 	}
-	if o.Maintenance, err = each(w.GetMaintenance(), codec.MaintenanceFromWire); err != nil {
+	if st.Maintenance, err = each(w.GetMaintenance(), codec.MaintenanceFromWire); err != nil {
 		return o, err
 	}
 	for _, p := range w.GetProcesses() {
-		o.Processes = append(o.Processes, ProcessOverview{
+		st.Processes = append(st.Processes, report.ProcessStatus{
 			Name: model.Process(p.GetName()), Zone: model.Zone(p.GetZone()),
 			Version: model.Version(p.GetVersion()), Drained: model.Version(p.GetDrained()),
 			Since: clock.Millis(p.GetSinceMs()), Seen: clock.Millis(p.GetSeenMs()),
@@ -85,10 +67,10 @@
 		})
 	}
 	for _, m := range w.GetControls() {
-		o.Controls = append(o.Controls, codec.MemberFromWire(m))
+		o.Controls = append(o.Controls, codec.ProcessFromWire(m))
 	}
 	for _, m := range w.GetEntries() {
-		o.Entries = append(o.Entries, codec.MemberFromWire(m))
+		o.Entries = append(o.Entries, codec.ProcessFromWire(m))
 	}
 	for _, x := range w.GetWaits() {
 		o.Waits = append(o.Waits, WaitOverview{
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
 	"camphorridge/core/state/ring"
 )
@@ -21,7 +22,10 @@
 // message, which consensus allows for.
 type Senders struct {
 	client *Client
-	mu     sync.Mutex
+	// configured holds the addresses from the settings by name; they go before
+	// those in the member list.
+	configured map[model.Process]string
+	mu         sync.Mutex
 	// rings holds one ring for each member by identity.
 	rings map[raft.MemberID]*ring.Ring[raft.Message]
 	// addresses is the current address of each member.
@@ -30,13 +34,18 @@
 	wg        sync.WaitGroup
 }
 
-// NewSenders returns senders without members.
-func NewSenders(c *Client) *Senders {
+// NewSenders returns senders that know the addresses in the settings.
+func NewSenders(c *Client, configured []model.Member) *Senders {
+	byName := make(map[model.Process]string, len(configured))
+	for _, m := range configured {
+		byName[m.Name] = m.Address
+	}
 	return &Senders{
-		client:    c,
-		rings:     map[raft.MemberID]*ring.Ring[raft.Message]{},
-		addresses: map[raft.MemberID]string{},
-		done:      make(chan struct{}),
+		configured: byName,
+		client:     c,
+		rings:      map[raft.MemberID]*ring.Ring[raft.Message]{},
+		addresses:  map[raft.MemberID]string{},
+		done:       make(chan struct{}),
 	}
 }
 
@@ -46,6 +55,9 @@
 	defer s.mu.Unlock()
 	for _, m := range all {
 		s.addresses[m.ID] = m.Address
+		if a, ok := s.configured[m.Name]; ok {
+			s.addresses[m.ID] = a
+		}
 	}
 }
 
--- /dev/null
+++ b/io/trans/roles/entry.go
@@ -0,0 +1,232 @@
+package roles
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+
+	"camphorridge/core/coord/claim"
+	"camphorridge/core/coord/entry"
+	"camphorridge/core/coord/follow"
+	"camphorridge/core/coord/record"
+	"camphorridge/core/coord/roster"
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+	"camphorridge/core/state/route"
+	"camphorridge/io/proto/conf"
+	"camphorridge/io/trans/front"
+	"camphorridge/io/trans/peers"
+	"camphorridge/io/trans/uplink"
+)
+
+// eventRing holds the dispatcher's events on their way to the recorder.
+const eventRing = 1024
+
+// lameDuck is the time between the first sign of a stop, a failing readiness
+// check and responses with "Connection: close", and the close of the listener.
+// The balancer and callers with open connections go elsewhere meanwhile.
+const lameDuck = clock.Second
+
+// dispatcher is the dispatcher with the policies of the product.
+type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded]
+
+// Entry is a running entry process.
+type Entry struct {
+	cfg      conf.Entry
+	clock    clock.Clock
+	log      *log.Logger
+	recorder *record.Recorder
+	dispatch *dispatcher
+	client   *peers.Client
+	poller   *follow.Poller[*peers.Client]
+	reporter *follow.Reporter[*peers.Leader]
+	roster   *roster.Roster[*peers.Client]
+	claimer  *claim.Claimer[*peers.Leader]
+	link     *uplink.Link
+	front    *front.Front[*dispatcher, *claim.Claimer[*peers.Leader]]
+	events   *ring.Ring[model.Event]
+	leaving  atomic.Bool
+}
+
+// RunEntry runs an entry process until a signal stops it.
+func RunEntry(cfg conf.Entry, out io.Writer) error {
+	lg, err := newLogger(out, cfg.LogLevel, string(cfg.Name), string(cfg.Zone))
+	if err != nil {
+		return err
+	}
+	e := newEntry(cfg, lg)
+	var g run.Group
+	addSignals(&g, lg)
+	if err := e.serve(&g); err != nil {
+		return err
+	}
+	e.recorder.Record(model.Event{Kind: model.EventStart, Detail: "entry"})
+	lg.Info("started", "callers", cfg.Listen.Callers, "upstreams", cfg.Listen.Upstreams)
+	err = g.Run()
+	e.client.Close()
+	lg.Info("stopped", "err", err)
+	return err
+}
+
+func newEntry(cfg conf.Entry, lg *log.Logger) *Entry {
+	clk := clock.Real()
+	e := &Entry{cfg: cfg, clock: clk, log: lg, events: ring.New[model.Event](eventRing)}
+	e.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
+	e.client = peers.NewClient(cfg.Name, e.recorder)
+	leader := peers.NewLeader(e.client, cfg.Controls, clk)
+	e.dispatch = entry.New(entry.Settings{
+		Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries,
+		Ring: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events,
+	}, clk, admit.Fair{}, route.LeastLoaded{})
+	self := memberOf(cfg.Entries, cfg.Name)
+	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
+	e.reporter = follow.NewReporter(self, uint64(clk.Now()), leader, e.status, clk)
+	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
+	e.claimer = claim.New(cfg.Name, leader, clk)
+	e.link = uplink.New(uplink.Defaults(), clk)
+	e.front = front.New(frontSettings(cfg), clk, e.dispatch, e.claimer, e.link)
+	return e
+}
+
+func memberOf(all []model.Member, name model.Process) model.Member {
+	for _, m := range all {
+		if m.Name == name {
+			return m
+		}
+	}
+	return model.Member{Name: name}
+}
+
+func frontSettings(cfg conf.Entry) front.Settings {
+	s := front.Defaults(cfg.Name)
+	s.Timeout = cfg.Limits.DefaultTimeoutMillis
+	s.MaxTimeout = cfg.Limits.MaxTimeoutMillis
+	s.MaxBody = cfg.Limits.MaxBodyBytes
+	s.MaxHeader = cfg.Limits.MaxHeaderBytes
+	s.Body = cfg.Limits.BodyReadMillis
+	return s
+}
+
+// offer puts a delta in force and adds the new version to the time line.
+func (e *Entry) offer(d model.Delta) error {
+	if err := e.dispatch.Table(d); err != nil {
+		return err
+	}
+	if d.To > e.poller.Version() {
+		e.recorder.Record(model.Event{Kind: model.EventTable, Version: d.To})
+	}
+	return nil
+}
+
+func (e *Entry) status() follow.Status {
+	return follow.Status{
+		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.Live(),
+	}
+}
+
+// announce takes an announcement from an upstream itself.
+func (e *Entry) announce(a model.Announcement) (peers.Announced, error) {
+	if err := e.dispatch.Announce(a); err != nil {
+		return peers.Announced{}, err
+	}
+	e.roster.Forward(a)
+	got := peers.Announced{Lease: e.cfg.Limits.LeaseMillis}
+	if i, ok := e.dispatch.Instance(a.Instance); ok {
+		got.Pool = i.Pool
+	}
+	return got, nil
+}
+
+func (e *Entry) tableAfter(from model.Version) (model.Delta, bool) {
+	v := e.poller.Version()
+	if v == 0 || from >= v {
+		return model.Delta{From: from, To: from}, v > 0
+	}
+	return fullDelta(e.dispatch.Configuration()), true
+}
+
+// serve listens and adds all parts in the order in which they stop: callers
+// first, then the duties that requests in flight need.
+func (e *Entry) serve(g *run.Group) error {
+	callers, err := listen("callers", e.cfg.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	upstreams, err := listen("upstreams", e.cfg.Listen.Upstreams)
+	if err != nil {
+		return err
+	}
+	peerListener, err := listen("peers", e.cfg.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	adminListener, err := listen("admin", e.cfg.Listen.Admin)
+	if err != nil {
+		return err
+	}
+	e.addCallers(g, callers)
+	addServer(g, upstreams, peers.AnnounceHandler(e.announce), peerStop)
+	add(g, e.poller)
+	add(g, e.reporter)
+	add(g, e.roster)
+	add(g, e.claimer)
+	add(g, e.link)
+	add(g, e.dispatch)
+	add(g, newForwarder(e.events, e.recorder.Record))
+	addServer(g, peerListener, peers.Mux(nil, nil, e.neighbour(), e.timeline()), peerStop)
+	addServer(g, adminListener, e.admin(), peerStop)
+	add(g, e.recorder)
+	return nil
+}
+
+// peerStop bounds the stop of the servers for other processes.
+const peerStop = 2 * clock.Second
+
+func (e *Entry) addCallers(g *run.Group, l net.Listener) {
+	s := front.NewServer(e.closing(e.front), e.cfg.Limits.MaxHeaderBytes)
+	g.Add(func() error { return s.Serve(l) }, func(error) {
+		e.recorder.Record(model.Event{Kind: model.EventStop})
+		e.leaving.Store(true)
+		<-e.clock.After(lameDuck)
+		if err := s.Shutdown(e.cfg.Limits.DrainMillis); err != nil {
+			e.log.Error("requests were cut off", "err", err)
+		}
+	})
+}
+
+// closing tells callers to open new connections elsewhere once the process is
+// stopping.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) neighbour() *peers.NeighbourServer {
+	return &peers.NeighbourServer{
+		TableAfter: e.tableAfter,
+		Hear:       e.hear,
+		Stamps:     e.recorder,
+	}
+}
+
+func (e *Entry) timeline() peers.TimelineServer {
+	return peers.TimelineServer{Events: func(since uint64) ([]model.Event, int64) {
+		return e.recorder.Events(since), e.recorder.Counts().Dropped
+	}}
+}
+
+// ready reports whether the balancer may send requests.
+func (e *Entry) ready(_ context.Context) bool {
+	return !e.leaving.Load() && e.poller.Version() > 0 && e.dispatch.Snapshot().Ready
+}
