Add the admin endpoint, the metrics in text format and the log set-up

Cause: every process needs metrics for scrapers, health for balancers, its part of the time line, and logs that can be merged over zones.

--- /dev/null
+++ b/io/trans/admin/admin_test.go
@@ -0,0 +1,185 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/io/trans/admin"
+)
+
+// TestExpose guards against a page that scrapers reject: names with other
+// characters, two metrics of one name, unescaped labels.
+func TestExpose(t *testing.T) {
+	r := metrics.NewRegistry()
+	e, err := admin.NewEntry(r)
+	assert.NilError(t, err)
+	e.Requests.Inc(5)
+	e.TableVersion.Update(118)
+	for i := range 100 {
+		e.Wait.Update(int64(i + 1))
+	}
+	assert.NilError(t, admin.Count(r, "requests.", func() int64 { return 7 }))
+	assert.NilError(t, admin.Value(r, "request-wait-ms-count", func() int64 { return 8 }))
+	assert.NilError(t, admin.Value(r, "table.version", func() int64 { return 9 }))
+	assert.NilError(t, admin.Value(r, "9 queue/über", func() int64 { return -1 }))
+	load := metrics.NewGaugeFloat64()
+	load.Update(0.25)
+	assert.NilError(t, r.Register("load", load))
+	var e2 *admin.Error
+	assert.Assert(t, errors.As(admin.Value(r, "load", nil), &e2) && e2.Kind == admin.KindRegister)
+	var b bytes.Buffer
+	assert.NilError(t, admin.Expose(&b, r, []admin.Label{{Name: "process", Value: `e"1\`}, {Name: "zone", Value: "a\nb"}}))
+	golden.Assert(t, b.String(), "entry.txt")
+
+	control := metrics.NewRegistry()
+	_, err = admin.NewControl(control)
+	assert.NilError(t, err)
+	b.Reset()
+	assert.NilError(t, admin.Expose(&b, control, nil))
+	golden.Assert(t, b.String(), "control.txt")
+}
+
+// TestHistogramTotal guards against a sum that follows the sample only and
+// goes back between two scrapes.
+func TestHistogramTotal(t *testing.T) {
+	r, h := metrics.NewRegistry(), admin.NewHistogram()
+	assert.NilError(t, r.Register("h", h))
+	for range 5000 {
+		h.Update(2)
+	}
+	var b bytes.Buffer
+	assert.NilError(t, admin.Expose(&b, r, nil))
+	assert.Assert(t, strings.Contains(b.String(), "camphorridge_h_sum 10000\ncamphorridge_h_count 5000\n"), b.String())
+}
+
+// start runs an endpoint and returns its server and the result of Run.
+func start(t *testing.T, cfg admin.Config) (*admin.Server, <-chan error) {
+	t.Helper()
+	cfg.Address, cfg.Registry = "127.0.0.1:0", metrics.NewRegistry()
+	s, err := admin.New(cfg)
+	assert.NilError(t, err)
+	ran := make(chan error, 1)
+	go func() { ran <- s.Run() }()
+	t.Cleanup(s.Stop)
+	return s, ran
+}
+
+func get(t *testing.T, method, url string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, nil)
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+// TestPaths guards against a process that is taken for ready when it is not,
+// and against parameters that are taken for others.
+func TestPaths(t *testing.T) {
+	reason := "no table"
+	s, ran := start(t, admin.Config{
+		Ready:      func() string { return reason },
+		Events:     func(since uint64) []model.Event { return []model.Event{{Seq: since + 1, Kind: model.EventWait}} },
+		StopMillis: clock.Second,
+	})
+	for _, c := range []struct {
+		method, path string
+		status       int
+		body         string
+	}{
+		{"GET", "/healthz", 200, "ok\n"},
+		{"GET", "/readyz", 503, "not ready: no table\n"},
+		{"GET", "/metrics", 200, ""},
+		{"GET", "/events?since=4", 200, `[{"stamp-ms":0,"stamp-count":0,"process":"","seq":5,"kind":"wait"}]`},
+		{"GET", "/events", 200, `[{"stamp-ms":0,"stamp-count":0,"process":"","seq":1,"kind":"wait"}]`},
+		{"GET", "/events?since=-1", 400, "since = \"-1\" is not a sequence number of 0 or more\n"},
+		{"POST", "/events", 405, "Method Not Allowed\n"},
+		{"GET", "/", 404, "404 page not found\n"},
+	} {
+		status, body := get(t, c.method, "http://"+s.Addr()+c.path)
+		assert.Equal(t, status, c.status, c.path)
+		assert.Equal(t, body, c.body, c.path)
+	}
+	s.Stop()
+	s.Stop()
+	assert.NilError(t, <-ran)
+}
+
+// TestFetch guards against events that are lost or fetched twice at the
+// border of two pages.
+func TestFetch(t *testing.T) {
+	const total = 2*admin.PageSize + 1
+	s, _ := start(t, admin.Config{StopMillis: clock.Second, Events: func(since uint64) []model.Event {
+		var out []model.Event
+		for seq := since + 1; seq <= total; seq++ {
+			out = append(out, model.Event{Seq: seq})
+		}
+		return out
+	}})
+	events, err := admin.Fetch(t.Context(), http.DefaultClient, s.Addr(), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), total-2)
+	for i, e := range events {
+		assert.Equal(t, e.Seq, uint64(i+3))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = admin.Fetch(ctx, http.DefaultClient, s.Addr(), 0)
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+// TestStop guards against a stop that cuts a request which ends within the
+// bound, and against one that waits beyond it.
+func TestStop(t *testing.T) {
+	for name, bound := range map[string]clock.Millis{"within": clock.Minute, "beyond": 1} {
+		t.Run(name, func(t *testing.T) {
+			entered, leave := make(chan struct{}), make(chan struct{})
+			s, ran := start(t, admin.Config{StopMillis: bound, Ready: func() string {
+				close(entered)
+				<-leave
+				return ""
+			}})
+			answered := make(chan error, 1)
+			go func() {
+				resp, err := http.Get("http://" + s.Addr() + "/readyz")
+				if err == nil {
+					err = resp.Body.Close()
+				}
+				answered <- err
+			}()
+			<-entered
+			s.Stop()
+			if name == "within" {
+				// The stop must still wait: an early end would be seen here.
+				select {
+				case err := <-ran:
+					t.Fatalf("Run ended before the request: %v", err)
+				case <-time.After(50 * time.Millisecond):
+				}
+				close(leave)
+				assert.NilError(t, <-answered)
+				assert.NilError(t, <-ran)
+				return
+			}
+			var e *admin.Error
+			assert.Assert(t, errors.As(<-ran, &e) && e.Kind == admin.KindStop)
+			close(leave)
+			assert.Assert(t, <-answered != nil)
+		})
+	}
+}
--- /dev/null
+++ b/io/trans/admin/expose.go
@@ -0,0 +1,151 @@
+package admin
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// prefix starts the name of every metric.
+const prefix = "camphorridge_"
+
+// quantiles are those of every summary.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Label is a constant label of all metrics of a process.
+type Label struct {
+	Name  string
+	Value string
+}
+
+// Expose writes the metrics in the text format 0.0.4 that scrapers read,
+// sorted by name.
+func Expose(w io.Writer, r metrics.Registry, labels []Label) error {
+	x := exposer{labels: labelText(labels), taken: map[string]bool{}}
+	all := map[string]any{}
+	r.Each(func(name string, m any) { all[name] = m })
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		x.metric(name, all[name])
+	}
+	_, err := io.WriteString(w, x.out.String())
+	return err
+}
+
+type exposer struct {
+	out    strings.Builder
+	labels string
+	// taken holds the names written: two names of the registry can become the
+	// same name here.
+	taken map[string]bool
+}
+
+func (x *exposer) metric(name string, m any) {
+	switch m := m.(type) {
+	case metrics.Counter:
+		x.single(name, "_total", "counter", float64(m.Count()))
+	case metrics.Meter:
+		x.single(name, "_total", "counter", float64(m.Count()))
+	case metrics.Gauge:
+		x.single(name, "", "gauge", float64(m.Value()))
+	case metrics.GaugeFloat64:
+		x.single(name, "", "gauge", m.Value())
+	case metrics.Histogram:
+		s := m.Snapshot()
+		total, known := m.Sample().(interface{ Total() int64 })
+		sum := math.NaN()
+		if known {
+			sum = float64(total.Total())
+		}
+		x.summary(name, s.Percentiles(quantiles), sum, s.Count())
+	case metrics.Timer:
+		s := m.Snapshot()
+		x.summary(name, s.Percentiles(quantiles), math.NaN(), s.Count())
+	}
+}
+
+func (x *exposer) single(name, suffix, kind string, v float64) {
+	n := x.claim(name, suffix, suffix)
+	fmt.Fprintf(&x.out, "# TYPE %s %s\n", n, kind)
+	x.sample(n, x.labels, v)
+}
+
+// summary writes quantiles, sum and count; a sum that is not known is left
+// out.
+func (x *exposer) summary(name string, values []float64, sum float64, count int64) {
+	n := x.claim(name, "", "", "_sum", "_count")
+	fmt.Fprintf(&x.out, "# TYPE %s summary\n", n)
+	for i, q := range quantiles {
+		labels := fmt.Sprintf(`quantile="%s"`, number(q))
+		if x.labels != "" {
+			labels = x.labels + "," + labels
+		}
+		v := values[i]
+		if count == 0 {
+			v = math.NaN()
+		}
+		x.sample(n, labels, v)
+	}
+	if !math.IsNaN(sum) {
+		x.sample(n+"_sum", x.labels, sum)
+	}
+	x.sample(n+"_count", x.labels, float64(count))
+}
+
+func (x *exposer) sample(name, labels string, v float64) {
+	if labels != "" {
+		labels = "{" + labels + "}"
+	}
+	fmt.Fprintf(&x.out, "%s%s %s\n", name, labels, number(v))
+}
+
+// claim returns a name that is free with each of the suffixes; a number tells
+// names apart that are equal once sanitised. Scrapers reject a page with two
+// metrics of one name.
+func (x *exposer) claim(name, suffix string, reserve ...string) string {
+	base := prefix + strings.TrimSuffix(sanitise(name), suffix)
+	n := base
+	for i := 2; slices.ContainsFunc(reserve, func(s string) bool { return x.taken[n+s] }); i++ {
+		n = fmt.Sprintf("%s_%d", base, i)
+	}
+	for _, s := range reserve {
+		x.taken[n+s] = true
+	}
+	return n + suffix
+}
+
+// sanitise replaces what a metric's name must not contain.
+func sanitise(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+func labelText(labels []Label) string {
+	var parts []string
+	for _, l := range labels {
+		parts = append(parts, fmt.Sprintf(`%s="%s"`, sanitise(l.Name), labelEscaper.Replace(l.Value)))
+	}
+	return strings.Join(parts, ",")
+}
+
+func number(v float64) string {
+	if v == math.Trunc(v) && math.Abs(v) < 1<<53 {
+		return strconv.FormatInt(int64(v), 10)
+	}
+	return strconv.FormatFloat(v, 'g', -1, 64)
+}
--- /dev/null
+++ b/io/trans/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs sets up the log of a process from its settings.
+package logs
