Remember outages in the replicated state and name the platform in the settings

Cause: a budget over a window must hold across a change of the leader, and maintenance needs the platform's address. Change: losses and the time out of service are part of an instance, finished outages are remembered up to 100,000; [platform] zone-NAME in the control settings.

--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -14,6 +14,9 @@
 	// ClaimLifetime and MaxClaims bound the idempotency claims.
 	ClaimLifetime = 24 * clock.Hour
 	MaxClaims     = 1_000_000
+	// MaxOutages bounds the remembered outages. At the target size about 2,000
+	// instances a day are restarted, replaced or maintained.
+	MaxOutages = 100_000
 	// MaxTouches is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
 	MaxTouches = 10_000
@@ -44,6 +47,9 @@
 	Results *Memory[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
 	Claims *Memory[model.ClaimKey, HeldClaim]
+	// Outages lists the finished outages in the order of their ends; at most
+	// MaxOutages. Budgets are computed from them, also by a new leader.
+	Outages []model.Outage
 	// Authors names who last changed or removed an object, for conflicts; at
 	// most MaxRemoved of the objects do not exist any more.
 	Authors map[string]Author
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 )
 
@@ -40,9 +41,8 @@
 	}
 	retired := false
 	for _, step := range c.Instances {
-		next := step.Instance
+		next := s.account(s.Instances[step.Instance.ID], step.Instance, c.Time)
 		next.Version = index
-		next.Since = c.Time
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
 		s.touch(Touch{Version: index, Instance: next.ID})
@@ -54,6 +54,27 @@
 	return model.Result{Version: index}
 }
 
+// account sets the times of the next state of an instance and remembers an
+// outage that ends with it.
+func (s *State) account(held, next model.Instance, now clock.Millis) model.Instance {
+	next.Since = held.Since
+	if held.ID == "" || next.Phase != held.Phase {
+		next.Since = now
+	}
+	next.Out = held.Out
+	switch {
+	case next.OutOfService() && held.Out == 0:
+		next.Out = now
+	case !next.OutOfService() && held.Out != 0:
+		next.Out = 0
+		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.Out, To: now})
+		if over := len(s.Outages) - MaxOutages; over > 0 {
+			s.Outages = append([]model.Outage(nil), s.Outages[over:]...)
+		}
+	}
+	return next
+}
+
 // checkStep returns the reason why the step would break the rule that an
 // instance belongs to exactly one pool; empty when it is allowed.
 func checkStep(held, next model.Instance) string {
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -148,12 +148,33 @@
 	Incarnation uint64
 	// Maintained is the time of the last finished maintenance; 0 for never.
 	Maintained clock.Millis
+	// Lost is the time since which no entry process hears the instance although
+	// nothing was planned; 0 while it is heard.
+	Lost clock.Millis
+	// Out is the time since which the instance has been out of service, for
+	// planned and unplanned reasons alike; 0 while it serves.
+	Out clock.Millis
 	// Since is the time at which the phase was entered, by the leader's
 	// clock.
 	Since   clock.Millis
 	Version Version
 }
 
+// OutOfService reports whether the instance counts against the budgets of its
+// pool's customers.
+func (i Instance) OutOfService() bool {
+	return i.Lost != 0 || i.Phase == PhaseReleasing || i.Phase == PhaseMaintenance
+}
+
+// Outage is a finished time that an instance spent out of service.
+type Outage struct {
+	Instance InstanceID
+	// Pool is the pool that the instance belonged to when the outage began.
+	Pool Pool
+	From clock.Millis
+	To   clock.Millis
+}
+
 // Member is a process of the system from its settings.
 type Member struct {
 	Name    Process
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"camphorridge/core/state/clock"
 )
 
 // Load is a bounded load from one customer on one service.
@@ -39,7 +41,7 @@
 	Outcome string
 	// Err is set when no whole answer came.
 	Err     error
-	Elapsed time.Duration
+	Elapsed clock.Millis
 }
 
 // Summary counts the answers of a load.
@@ -112,8 +114,8 @@
 
 func (l Load) one(ctx context.Context, client *http.Client, n int) Answer {
 	a := Answer{ID: fmt.Sprintf("%s%s-%d", l.Prefix, l.Service, n)}
-	started := time.Now()
-	defer func() { a.Elapsed = time.Since(started) }()
+	started := clk.Now()
+	defer func() { a.Elapsed = clk.Now() - started }()
 	url := fmt.Sprintf("http://%s/%s/work", l.Entries[n%len(l.Entries)], l.Service)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body of "+a.ID))
 	if err != nil {
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"camphorridge/core/state/clock"
 )
 
 // rebootGrace bounds the wait for requests in flight at a reboot; a drained
@@ -94,7 +96,7 @@
 	for _, u := range p.upstreams {
 		out = append(out, u.Record()...)
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].Started.Before(out[j].Started) })
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Started < out[j].Started })
 	return out
 }
 
@@ -155,7 +157,7 @@
 	o.Address = u.Addr()
 	_ = u.Shutdown(ctx)
 	p.keep(u)
-	time.Sleep(p.RebootTime)
+	<-clk.After(clock.Of(p.RebootTime))
 	next, err := Start(o)
 	if err != nil {
 		return
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -11,8 +11,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"camphorridge/core/state/clock"
 )
 
+// clk is the clock of all stand-ins.
+var clk = clock.Real()
+
 // Request headers that tell a stand-in upstream how to behave.
 const (
 	// FaultHeader is one of the faults below.
@@ -42,7 +47,7 @@
 	Pool     string
 	Instance string
 	Entry    string
-	Started  time.Time
+	Started  clock.Millis
 	// Finished says that the handler wrote its whole answer.
 	Finished bool
 	// Cut says that the connection closed before the answer was whole.
@@ -94,7 +99,7 @@
 	}
 	u := &Upstream{
 		Options: o, pool: o.Pool, listener: l, done: make(chan struct{}),
-		incarnation: uint64(time.Now().UnixMilli()),
+		incarnation: uint64(clk.Now()),
 	}
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
 	u.ended.Add(1)
@@ -190,7 +195,7 @@
 	u.runs = append(u.runs, Run{
 		Seq: len(u.runs), ID: r.Header.Get(IDHeader), Method: r.Method, Path: r.URL.Path,
 		Pool: asked, Instance: u.Instance,
-		Entry: r.Header.Get("Camphorridge-Entry"), Started: time.Now(),
+		Entry: r.Header.Get("Camphorridge-Entry"), Started: clk.Now(),
 	})
 	return len(u.runs) - 1
 }
@@ -310,7 +315,7 @@
 func (u *Upstream) AnnounceOnce(ctx context.Context) time.Duration {
 	u.mu.Lock()
 	form := u.form()
-	start := int(time.Now().UnixMilli() / 100)
+	start := int(clk.Now() / 100)
 	u.mu.Unlock()
 	for i := range u.Announce {
 		addr := u.Announce[(start+i)%len(u.Announce)]
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -88,6 +88,8 @@
 		Reason:       text(i.Reason),
 		MaintainedMs: int64(i.Maintained),
 		Incarnation:  i.Incarnation,
+		LostMs:       int64(i.Lost),
+		OutMs:        int64(i.Out),
 		SinceMs:      int64(i.Since),
 		Version:      uint64(i.Version),
 	}
@@ -115,6 +117,8 @@
 		Reason:      w.GetReason(),
 		Maintained:  clock.Millis(w.GetMaintainedMs()),
 		Incarnation: w.GetIncarnation(),
+		Lost:        clock.Millis(w.GetLostMs()),
+		Out:         clock.Millis(w.GetOutMs()),
 		Since:       clock.Millis(w.GetSinceMs()),
 		Version:     model.Version(w.GetVersion()),
 	}, nil
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -24,6 +24,7 @@
 		Instances:   list(sorted(s.Instances), InstanceToWire),
 		Maintenance: list(sorted(s.Maintenance), MaintenanceToWire),
 		Touches:     list(s.Touches, touchToWire),
+		Outages:     list(s.Outages, OutageToWire),
 	}
 	s.Results.Each(func(k model.RequestID, r model.Result, t clock.Millis) {
 		w.Results = append(w.Results, &wirepb.RememberedResult{Request: text(k), Result: ResultToWire(r), TimeMs: int64(t)})
@@ -44,6 +45,19 @@
 	return w
 }
 
+// OutageToWire maps an outage.
+func OutageToWire(o model.Outage) *wirepb.Outage {
+	return &wirepb.Outage{Instance: text(o.Instance), Pool: text(o.Pool), FromMs: int64(o.From), ToMs: int64(o.To)}
+}
+
+// OutageFromWire maps an outage.
+func OutageFromWire(w *wirepb.Outage) model.Outage {
+	return model.Outage{
+		Instance: model.InstanceID(w.GetInstance()), Pool: model.Pool(w.GetPool()),
+		From: clock.Millis(w.GetFromMs()), To: clock.Millis(w.GetToMs()),
+	}
+}
+
 // StateFromWire maps the replicated state. Its parts must be in the order in
 // which StateToWire writes them where that order has a meaning.
 func StateFromWire(w *wirepb.FleetSnapshot) (*fleet.State, error) {
@@ -75,6 +89,9 @@
 			Instance: model.InstanceID(t.GetInstance()),
 		})
 	}
+	for _, o := range w.GetOutages() {
+		s.Outages = append(s.Outages, OutageFromWire(o))
+	}
 	for _, a := range w.GetAuthors() {
 		if a.GetName() == "" {
 			return nil, stateError(KindMissing, "an author's object has no name")
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -48,6 +48,12 @@
 	SegmentBytes  int64
 }
 
+// Platform is the platform's interface in one zone.
+type Platform struct {
+	Zone    model.Zone
+	Address string
+}
+
 // Entry holds the settings of an entry process.
 type Entry struct {
 	Name   model.Process
@@ -75,7 +81,9 @@
 	// process.
 	Controls []model.Member
 	// Entries lists the entry processes, sorted by name.
-	Entries   []model.Member
+	Entries []model.Member
+	// Platforms lists the platform's interfaces, at most one for each zone.
+	Platforms []Platform
 	Limits    ControlLimits
 	Consensus Consensus
 	// LogLevel is debug, info, warn or error.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"net/netip"
 	"slices"
 	"strconv"
 
@@ -46,6 +47,7 @@
 			intKey("consensus", "snapshot-every", "entries", "10000", 10, 10_000_000, "log entries from one snapshot to the next", func(c *Control) *int { return &c.Consensus.SnapshotEvery }),
 			intKey("consensus", "segment-bytes", "bytes", "8388608", 4*kib, 1<<30, "size at which a log segment is closed", func(c *Control) *int64 { return &c.Consensus.SegmentBytes }),
 		},
+		[]Key[Control]{platformKey()},
 		commonKeys(func(c *Control) *string { return &c.LogLevel }, func(c *Control) *int { return &c.EventCapacity }),
 	)
 }
@@ -78,6 +80,20 @@
 	}
 }
 
+// platformKey is optional: without it, or for another zone, nothing is
+// rebooted and maintenance waits.
+func platformKey() Key[Control] {
+	return Key[Control]{
+		Section: "platform", Name: "zone-" + family, Meaning: "address of the platform's interface in the availability zone NAME",
+		Allowed: "ip:port with an IP number and a port from 1 to 65535",
+		set: func(c *Control, name, value string) bool {
+			ap, err := netip.ParseAddrPort(value)
+			c.Platforms = append(c.Platforms, Platform{Zone: model.Zone(name), Address: value})
+			return err == nil && ap.Port() > 0 && !ap.Addr().IsUnspecified()
+		},
+	}
+}
+
 func limitKeys() []Key[Entry] {
 	return []Key[Entry]{
 		intKey("limits", "max-header-bytes", "bytes", "65536", kib, 1024*kib, "largest header of a request; a larger one is refused with 431", func(e *Entry) *int { return &e.Limits.MaxHeaderBytes }),
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -94,7 +94,9 @@
 		if next == "" {
 			l.remember("")
 		}
-		if next == "" && n%len(l.Members) == len(l.Members)-1 {
+		// Waiting also bounds the rate at which two members that name each other
+		// as the leader are asked.
+		if n%len(l.Members) == len(l.Members)-1 {
 			l.wait(ctx)
 		}
 		if ctx.Err() != nil {
