--- a/io/trans/uplink/keep.go
+++ b/io/trans/uplink/keep.go
@@ -120,7 +120,7 @@
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if check(req, resp) != nil {
+	if check(req, resp, &c.echoes) != nil {
 		return false
 	}
 	_, err = io.CopyN(io.Discard, resp.Body, l.cfg.ResponseHeader)
--- a/io/trans/uplink/link.go
+++ b/io/trans/uplink/link.go
@@ -92,7 +92,7 @@
 		return nil, res, fail("request", res.Kind, "%w", err)
 	}
 	res.BytesWritten = true
-	if e := check(req, resp); e != nil {
+	if e := check(req, resp, &c.echoes); e != nil {
 		c.seal()
 		_ = resp.Body.Close()
 		_ = c.Close()
@@ -136,15 +136,19 @@
 	}
 }
 
-// check returns why a response cannot be passed on; nil when it can.
-func check(req *http.Request, resp *http.Response) *Error {
+// check returns why a response cannot be passed on; nil when it can. echoes says
+// whether the connection's responses so far echoed the identity of their
+// request: one without it is then taken for a late answer to another request,
+// which nothing else would tell from the right one.
+func check(req *http.Request, resp *http.Response, echoes *bool) *Error {
 	if resp.StatusCode < 200 {
 		return fail("response", KindFraming, "unexpected status %d", resp.StatusCode)
 	}
 	id, echo := req.Header.Get(HeaderRequestID), resp.Header.Get(HeaderRequestID)
-	if echo != "" && id != "" && echo != id {
+	if id != "" && echo != id && (echo != "" || *echoes) {
 		return fail("response", KindCrossed, "it answers request %q, not %q", echo, id)
 	}
+	*echoes = *echoes || echo != ""
 	bodyless := req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if !bodyless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return fail("response", KindFraming, "it has neither a length nor chunks")
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -30,6 +30,8 @@
 	probing bool
 	// requests is the number of requests carried.
 	requests int
+	// echoes says that a response echoed the identity of its request.
+	echoes bool
 }
 
 // pool holds the connections to one upstream.
