Test admission, routing and announcements; fix three faults found

Cause: the properties of the pure packages were not tested. rapid found that an ejected upstream which lapsed and came back broke the floor of the pool, and that a fault shared by all upstreams ejected half of a pool when it showed as failed connections.

Change: the floor is kept after a return as well; ejected upstreams count as peers with their score, so a shared fault ejects at most one.

--- /dev/null
+++ b/core/state/admit/admit_test.go
@@ -0,0 +1,258 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against shares that add up to more, or to less, than the contract.
+func TestSharesAddUpToTheTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 10_000).Draw(t, "total")
+		names := rapid.SliceOfN(rapid.StringMatching(`[a-z]{1,3}`), 1, 40).Draw(t, "names")
+		var all []model.Process
+		seen := map[model.Process]bool{}
+		for _, n := range names {
+			all = append(all, model.Process(n))
+			seen[model.Process(n)] = true
+		}
+		sum, least, most := 0, total, 0
+		for p := range seen {
+			rank, count := Rank(all, p)
+			s := Limit{InFlight: total}.Divide(rank, count).InFlight
+			sum += s
+			least, most = min(least, s), max(most, s)
+		}
+		assert.Equal(t, sum, total)
+		assert.Assert(t, most-least <= 1)
+	})
+	rank, count := Rank([]model.Process{"a"}, "b")
+	assert.Equal(t, Share(10, rank, count), 0)
+}
+
+// Guards against a contract whose limit is not derived from its promise.
+func TestLimitOfContract(t *testing.T) {
+	slots := func(model.Pool) int { return 8 }
+	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
+	assert.Equal(t, LimitOf(c, slots), Limit{InFlight: 40, Queue: 3, RetryPercent: 7, Weight: 40})
+	c.Concurrency = 5
+	assert.Equal(t, LimitOf(c, slots).InFlight, 5)
+}
+
+// world runs a gate against a pool with a number of slots and keeps its own
+// account of who runs and waits.
+type world struct {
+	g       *Gate[Fair, int]
+	slots   int
+	running map[model.Customer]int
+	lines   []*Line[int]
+	waiting map[int]*Waiter[int]
+	ended   map[int]bool
+	limits  map[model.Customer]Limit
+	next    int
+	now     clock.Millis
+}
+
+func (w *world) inFlight() int { return len(w.lines) }
+
+func (w *world) drop(ids []int) {
+	for _, id := range ids {
+		delete(w.waiting, id)
+	}
+}
+
+func (w *world) pump(t *rapid.T) {
+	for w.inFlight() < w.slots {
+		wt, late := w.g.Next(w.now, "p", nil)
+		w.drop(late)
+		if wt == nil {
+			assert.Assert(t, !w.g.Waits("p"), "a waiter that may run was not chosen")
+			return
+		}
+		assert.Assert(t, wt.Deadline > w.now, "an expired waiter was run")
+		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
+		delete(w.waiting, wt.Ref)
+		w.lines = append(w.lines, wt.Line())
+		w.running[wt.Line().Account.Customer]++
+	}
+}
+
+// Guards against more in flight or waiting than a share, expired or cancelled
+// requests that run, and requests that are lost or kept for ever.
+func TestGateKeepsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{
+			g: New[Fair, int](Fair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
+			running: map[model.Customer]int{}, waiting: map[int]*Waiter[int]{}, limits: map[model.Customer]Limit{},
+		}
+		pools := []model.PoolShare{{Pool: "p"}}
+		for i := range 3 {
+			l := Limit{InFlight: rapid.IntRange(0, 4).Draw(t, "share"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
+			c := model.Customer(fmt.Sprint(i))
+			w.limits[c] = l
+			w.g.SetCustomer(c, l, pools)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
+				l, why := w.g.Line(c, "p")
+				if why != ReasonNone {
+					assert.Equal(t, why, ReasonShare)
+					return
+				}
+				if l.CanRun() && l.Len() == 0 && !w.g.Waits("p") && w.inFlight() < w.slots {
+					w.g.Start(l)
+					w.lines = append(w.lines, l)
+					w.running[c]++
+					return
+				}
+				w.next++
+				wt, why := w.g.Join(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
+				if why == ReasonNone {
+					w.waiting[w.next] = wt
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(w.lines) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
+				l := w.lines[i]
+				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
+				w.running[l.Account.Customer]--
+				w.g.End(l, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
+				w.pump(t)
+			},
+			"cancel": func(t *rapid.T) {
+				for id, wt := range w.waiting {
+					wt.Line().Leave(wt)
+					delete(w.waiting, id)
+					return
+				}
+			},
+			"time": func(t *rapid.T) {
+				w.now += clock.Millis(rapid.IntRange(1, 30).Draw(t, "ms"))
+				w.drop(w.g.Expire(w.now, nil))
+			},
+			"": func(t *rapid.T) {
+				waits := 0
+				w.g.Each(func(a *Account[int]) {
+					assert.Equal(t, a.Running, w.running[a.Customer])
+					assert.Assert(t, a.Running <= w.limits[a.Customer].InFlight)
+					assert.Assert(t, a.Waiting <= w.limits[a.Customer].Queue)
+					waits += a.Waiting
+				})
+				assert.Equal(t, waits, len(w.waiting))
+			},
+		})
+	})
+}
+
+// share runs a pool of one slot under a flood of a and a few of b, and returns
+// how many of each were started in n starts.
+func share[P Picker](picker P, weightA, weightB, n int) (a, b int) {
+	g := New[P, model.Customer](picker)
+	pools := []model.PoolShare{{Pool: "p"}}
+	g.SetCustomer("a", Limit{InFlight: 10, Queue: 1000, Weight: weightA}, pools)
+	g.SetCustomer("b", Limit{InFlight: 10, Queue: 1000, Weight: weightB}, pools)
+	fill := func(c model.Customer, want int) {
+		l, _ := g.Line(c, "p")
+		for l.Len() < want {
+			if _, why := g.Join(0, 1<<40, l, 1, c); why != ReasonNone {
+				panic(why)
+			}
+		}
+	}
+	for range n {
+		fill("a", 500)
+		fill("b", 5)
+		w, _ := g.Next(1, "p", nil)
+		g.End(w.Line(), -1)
+		if w.Ref == "a" {
+			a++
+		} else {
+			b++
+		}
+	}
+	return a, b
+}
+
+// Guards against a flood of one customer that starves another.
+func TestFloodDoesNotStarve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
+		_, b := share(Fair{}, wa, wb, 1000)
+		want := 1000 * wb / (wa + wb)
+		assert.Assert(t, b >= want-2 && b <= want+2, "b got %d of 1000, want %d", b, want)
+	})
+	_, b := share(Arrival{}, 1, 1, 400)
+	assert.Assert(t, b < 10, "the baseline is expected to starve b, which got %d", b)
+}
+
+// Guards against waiting for something that cannot come in time, and against
+// refusing what can.
+func TestDeadlineDecidesAtTheDoor(t *testing.T) {
+	g := New[Fair, int](Fair{})
+	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	l, _ := g.Line("a", "p")
+	g.Start(l)
+	g.End(l, 100)
+	// Two slots at 100 ms: a place in the queue every 50 ms.
+	for k := range 4 {
+		need := clock.Millis(50*(k+1) + 100)
+		_, why := g.Join(0, need, l, 2, k)
+		assert.Equal(t, why, ReasonDeadline)
+		_, why = g.Join(0, need+1, l, 2, k)
+		assert.Equal(t, why, ReasonNone)
+	}
+	// At 60 ms the first waiter, due at 151, can no longer end in time.
+	w, late := g.Next(60, "p", nil)
+	assert.DeepEqual(t, late, []int{0})
+	assert.Equal(t, w.Ref, 1)
+}
+
+// Guards against retries that multiply the load.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.IntRange(0, 50).Draw(t, "percent")
+		g := New[Fair, int](Fair{})
+		g.SetCustomer("a", Limit{InFlight: 1, RetryPercent: percent}, nil)
+		a := g.Account("a")
+		tries, retries := 0, 0
+		for _, retry := range rapid.SliceOf(rapid.Bool()).Draw(t, "retry") {
+			if !retry {
+				tries++
+				a.Credit()
+			} else if a.Retry() {
+				retries++
+			}
+			assert.Assert(t, float64(retries) <= 1+float64(tries*percent)/100)
+			assert.Assert(t, percent > 0 || retries == 0)
+		}
+	})
+}
+
+// Guards against forgetting what a removed contract still has in flight.
+func TestContractRemovedAndAppliedAgain(t *testing.T) {
+	g := New[Fair, int](Fair{})
+	pools := []model.PoolShare{{Pool: "p"}}
+	g.SetCustomer("a", Limit{InFlight: 2, Queue: 2}, pools)
+	l, _ := g.Line("a", "p")
+	g.Start(l)
+	_, why := g.Join(0, 100, l, 1, 7)
+	assert.Equal(t, why, ReasonNone)
+	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
+	_, why = g.Line("a", "p")
+	assert.Equal(t, why, ReasonContract)
+	g.SetCustomer("a", Limit{InFlight: 2}, pools)
+	assert.Equal(t, g.Account("a").Running, 1)
+	g.RemoveCustomer("a")
+	g.End(l, 1)
+	assert.Assert(t, g.Account("a") == nil)
+}
--- /dev/null
+++ b/core/state/member/member_test.go
@@ -0,0 +1,208 @@
+package member
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func announcement(id string, incarnation uint64) model.Announcement {
+	return model.Announcement{
+		Instance: model.InstanceID(id), Zone: "z", Pool: "p", Address: "10.0.0.1:" + id,
+		Slots: 8, Connections: 64, Incarnation: incarnation,
+	}
+}
+
+func direct(a model.Announcement) Heard { return Heard{Announcement: a, Direct: true} }
+
+// Guards against announcements that contradict what is known being taken in.
+func TestAcceptRules(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(h *Heard)
+		kind   Kind
+		ok     bool
+	}{
+		{"again", func(*Heard) {}, 0, true},
+		{"leaving", func(h *Heard) { h.Announcement.State = model.AnnounceLeaving }, 0, true},
+		{"lower incarnation", func(h *Heard) { h.Announcement.Incarnation = 4 }, KindIncarnation, false},
+		{"other pool", func(h *Heard) { h.Announcement.Pool = "q" }, KindPool, false},
+		{"other address", func(h *Heard) { h.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
+		{"restarted elsewhere", func(h *Heard) {
+			h.Announcement.Incarnation, h.Announcement.Pool, h.Announcement.Address = 6, "q", "10.0.0.9:9"
+		}, 0, true},
+		{"address of another", func(h *Heard) { h.Announcement.Instance = "b" }, KindAddress, false},
+		{"other zone", func(h *Heard) { h.Announcement.Zone = "y" }, KindZone, false},
+		{"no slots", func(h *Heard) { h.Announcement.Slots = 0 }, KindInvalid, false},
+		{"no incarnation", func(h *Heard) { h.Announcement.Incarnation = 0 }, KindInvalid, false},
+		{"no pool", func(h *Heard) { h.Announcement.Pool = "" }, KindInvalid, false},
+		{"unknown state", func(h *Heard) { h.Announcement.State = 7 }, KindInvalid, false},
+		{"too old", func(h *Heard) { h.Age = DefaultLease }, KindStale, false},
+	} {
+		r := New(Settings{Zone: "z"}, 0)
+		_, err := r.Accept(0, direct(announcement("a", 5)))
+		assert.NilError(t, err)
+		h := direct(announcement("a", 5))
+		c.change(&h)
+		before, _ := r.Get("a")
+		_, err = r.Accept(10, h)
+		if c.ok {
+			assert.NilError(t, err, c.name)
+			continue
+		}
+		var e *Error
+		assert.Assert(t, errors.As(err, &e), c.name)
+		assert.Equal(t, e.Kind, c.kind, c.name)
+		after, _ := r.Get("a")
+		assert.Equal(t, before.Announcement, after.Announcement, c.name)
+	}
+}
+
+// Guards against a stale forwarded announcement that revives a process which
+// is leaving, or one that was replaced.
+func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
+	r := New(Settings{Zone: "z"}, 0)
+	a := announcement("a", 1)
+	a.State = model.AnnounceLeaving
+	_, err := r.Accept(0, direct(a))
+	assert.NilError(t, err)
+	_, err = r.Accept(1, Heard{Announcement: announcement("a", 1), Age: 500})
+	assert.ErrorContains(t, err, "leaving")
+	_, err = r.Accept(2, direct(announcement("a", 2)))
+	assert.NilError(t, err)
+	_, err = r.Accept(3, direct(a))
+	assert.ErrorContains(t, err, "incarnation")
+	// The address of a process that left can be used by another instance.
+	a.Incarnation = 2
+	_, err = r.Accept(4, direct(a))
+	assert.NilError(t, err)
+	b := announcement("b", 1)
+	b.Address = a.Address
+	_, err = r.Accept(5, direct(b))
+	assert.NilError(t, err)
+}
+
+// Guards against leases that outlast their time, end early, move back, or whose
+// end is reported twice, with announcements that come late and out of order.
+func TestLeases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const lease = 900
+		r := New(Settings{Zone: "z", Lease: lease}, 0)
+		now := clock.Millis(0)
+		expires := map[model.InstanceID]clock.Millis{}
+		incarnation := map[model.InstanceID]uint64{}
+		lapsed := map[model.InstanceID]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) {
+				a := announcement(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
+				h := Heard{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
+				_, err := r.Accept(now, h)
+				allowed := h.Age < lease && a.Incarnation >= incarnation[a.Instance]
+				assert.Equal(t, err == nil, allowed, "%v", err)
+				if !allowed {
+					return
+				}
+				end := now - h.Age + lease
+				if a.Incarnation == incarnation[a.Instance] {
+					end = max(end, expires[a.Instance])
+				}
+				expires[a.Instance], incarnation[a.Instance], lapsed[a.Instance] = end, a.Incarnation, false
+			},
+			"time": func(t *rapid.T) {
+				now += clock.Millis(rapid.IntRange(1, 800).Draw(t, "ms"))
+				for _, gone := range r.Lapse(now, nil) {
+					id := gone.Announcement.Instance
+					assert.Assert(t, !lapsed[id], "the end was reported twice")
+					assert.Assert(t, expires[id] <= now)
+					lapsed[id] = true
+				}
+			},
+			"": func(t *rapid.T) {
+				r.Each(func(rec *Record) {
+					id := rec.Announcement.Instance
+					assert.Equal(t, rec.Expires, expires[id])
+					assert.Equal(t, rec.Lapsed, lapsed[id])
+				})
+			},
+		})
+	})
+}
+
+// Guards against a process that was itself stopped declaring all others dead,
+// and against one that keeps the dead for ever because of it.
+func TestPausedObserverGrantsGrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(Settings{Zone: "z"}, 0)
+		_, err := r.Accept(0, direct(announcement("dead", 1)))
+		assert.NilError(t, err)
+		now := clock.Millis(0)
+		for range 4 {
+			now += 1000
+			r.Lapse(now, nil)
+		}
+		_, err = r.Accept(now, direct(announcement("a", 1)))
+		assert.NilError(t, err)
+		woke := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
+		for _, l := range r.Lapse(woke, nil) {
+			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
+		}
+		a, _ := r.Get("a")
+		assert.Equal(t, a.Expires, woke+DefaultLease)
+		dead, known := r.Get("dead")
+		assert.Assert(t, !known || dead.Lapsed, "the pause revived what was gone")
+		gone := 0
+		for step := range clock.Millis(4) {
+			gone += len(r.Lapse(woke+step*1000, nil))
+		}
+		assert.Equal(t, gone, 1)
+		assert.Equal(t, r.Pauses, 1)
+	})
+}
+
+// Guards against neighbours that miss news, get old ones again, or get echoes
+// of what they sent themselves.
+func TestNewsForNeighbours(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(Settings{Zone: "z"}, 0), New(Settings{Zone: "z"}, 0)
+		seq, now := uint64(0), clock.Millis(0)
+		for range rapid.IntRange(1, 20).Draw(t, "rounds") {
+			now += 10
+			heard := map[model.InstanceID]bool{}
+			for range rapid.IntRange(0, 5).Draw(t, "announcements") {
+				an := announcement(fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "instance")), 1)
+				_, err := a.Accept(now, direct(an))
+				assert.NilError(t, err)
+				heard[an.Instance] = true
+			}
+			news, latest := a.News(now+5, seq)
+			assert.Equal(t, len(news), len(heard))
+			for _, h := range news {
+				assert.Assert(t, heard[h.Announcement.Instance] && !h.Direct && h.Age == 5)
+				_, err := b.Accept(now+5, h)
+				assert.NilError(t, err)
+			}
+			seq = latest
+			echoes, _ := b.News(now+5, 0)
+			assert.Equal(t, len(echoes), 0)
+		}
+	})
+}
+
+// Guards against records that pile up as instances are replaced.
+func TestOldRecordsAreForgotten(t *testing.T) {
+	r := New(Settings{Zone: "z", Pause: clock.Day}, 0)
+	for i := range 50 {
+		_, err := r.Accept(0, direct(announcement(fmt.Sprint(i), 1)))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(r.Lapse(DefaultLease, nil)), 50)
+	r.Lapse(DefaultLease+Forget+1, nil)
+	assert.Equal(t, len(r.records)+len(r.byAddress), 0)
+	assert.Assert(t, r.first == nil && r.last == nil)
+}
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -9,8 +9,9 @@
 	failWeight    = 0.2
 	connectWeight = 0.6
 	ejectAbove    = 0.5
-	// peerMargin is how far the score must be above twice that of the peers.
-	// A fault that all upstreams share ejects none of them.
+	// peerMargin is how far the score must be above twice that of the peers,
+	// ejected ones included, so that a fault that all upstreams share ejects
+	// none of them, or one when it shows as failed connections.
 	peerMargin = 0.2
 	// An ejection lasts ejectBase, doubled with each in a row, at most
 	// ejectMost.
@@ -27,6 +28,9 @@
 // learn updates the score of an upstream and ejects it when it fails against
 // its peers.
 func (r *Router[P]) learn(now clock.Millis, u *Upstream, o Outcome) bool {
+	if u.Returning && !u.Ejected(now) {
+		u.Returning, u.Score = false, returnScore
+	}
 	switch o {
 	case OutcomeCancelled, OutcomeBusy:
 		return false
@@ -53,28 +57,31 @@
 	g := r.pools[u.Pool]
 	in, peers := 0, 0.0
 	for _, m := range g.members {
-		if m.Ejected(now) || m == u {
+		if m == u {
 			continue
 		}
-		in++
 		peers += m.Score
+		if !m.Ejected(now) {
+			in++
+		}
 	}
 	if in == 0 || in < (len(g.members)+1)/2 {
 		return false
 	}
-	if u.Score <= 2*peers/float64(in)+peerMargin {
+	if u.Score <= 2*peers/float64(len(g.members)-1)+peerMargin {
 		return false
 	}
 	d := min(ejectBase<<min(u.Ejections, 10), ejectMost)
 	u.Ejections++
 	u.EjectedUntil = now + d
 	u.Since = u.EjectedUntil
-	u.Score = returnScore
+	u.Returning = true
 	return true
 }
 
 // keepFloor ends ejections, the one that ends soonest first, until half of the
-// upstreams are in. It is called after an upstream left the pool.
+// upstreams are in. It is called after an upstream left the pool, or came back
+// to it while its ejection lasts.
 func (g *group) keepFloor(now clock.Millis) {
 	for {
 		in := 0
--- /dev/null
+++ b/core/state/route/route_test.go
@@ -0,0 +1,310 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func entryOf(id model.InstanceID, v model.Version) model.Instance {
+	return model.Instance{ID: id, Zone: "z", Pool: "p", Target: "p", Slots: 8, Connections: 64, Version: v}
+}
+
+func announced(id model.InstanceID, incarnation uint64) model.Announcement {
+	return model.Announcement{Instance: id, Zone: "z", Pool: "p", Address: string(id), Slots: 8, Connections: 64, Incarnation: incarnation}
+}
+
+// pool returns a router with n upstreams that are past their slow start.
+func pool[P Policy](policy P, n int) *Router[P] {
+	r := New(Settings{Zone: "z", Rank: 0, Count: 1}, policy)
+	for i := range n {
+		id := model.InstanceID(fmt.Sprint("i", i))
+		r.SetInstance(0, entryOf(id, 1), 0)
+		r.SetMember(0, announced(id, 1), true)
+	}
+	return r
+}
+
+const start = 10 * clock.Second
+
+// Guards against entry processes that together use more slots or connections
+// than an upstream has.
+func TestSharesOfSlotsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 9).Draw(t, "count")
+		slots, conns := rapid.IntRange(1, 64).Draw(t, "slots"), rapid.IntRange(1, 64).Draw(t, "conns")
+		granted, connections := 0, 0
+		for rank := range count {
+			r := New(Settings{Zone: "z", Rank: rank, Count: count}, LeastLoaded{})
+			i, a := entryOf("i", 1), announced("i", 1)
+			i.Slots, i.Connections, a.Slots = slots, conns, rapid.IntRange(1, 64).Draw(t, "announced")
+			r.SetInstance(0, i, 0)
+			r.SetMember(0, a, true)
+			for {
+				h, ok := r.Pick(start, "p", "")
+				if !ok {
+					break
+				}
+				granted++
+				assert.Assert(t, h.Upstream.Running <= h.Upstream.Connections)
+			}
+			connections += r.upstreams["i"].Connections
+		}
+		assert.Assert(t, granted <= slots, "%d requests for %d slots", granted, slots)
+		assert.Assert(t, connections <= conns)
+	})
+}
+
+// Guards against new work on an instance that is leaving, lapsed, released, in
+// another zone or in another pool than it says.
+func TestOnlyAgreedUpstreamsAreRoutable(t *testing.T) {
+	for name, change := range map[string]func(i *model.Instance, a *model.Announcement, live *bool){
+		"leaving":        func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
+		"lapsed":         func(_ *model.Instance, _ *model.Announcement, live *bool) { *live = false },
+		"releasing":      func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseReleasing },
+		"maintenance":    func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseMaintenance },
+		"retired":        func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseRetired },
+		"other pool":     func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Pool = "q" },
+		"assigned":       func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Pool = "q" },
+		"other zone":     func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Zone = "y" },
+		"announced zone": func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Zone = "y" },
+	} {
+		r := pool(LeastLoaded{}, 1)
+		i, a, live := entryOf("i0", 2), announced("i0", 1), true
+		_, ok := r.Pick(start, "p", "")
+		assert.Assert(t, ok)
+		change(&i, &a, &live)
+		r.SetInstance(start, i, 1)
+		r.SetMember(start, a, live)
+		for _, p := range []model.Pool{"p", "q"} {
+			_, ok = r.Pick(start, p, "")
+			assert.Assert(t, !ok, name)
+		}
+		r.SetInstance(start, entryOf("i0", 3), 2)
+		r.SetMember(start, announced("i0", 1), true)
+		_, ok = r.Pick(start, "p", "")
+		assert.Assert(t, ok, "%s: it did not come back", name)
+	}
+}
+
+// Guards against a release that is confirmed while a request still runs on the
+// instance, and against one that is never confirmed.
+func TestDrainedFollowsRequestsInFlight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := pool(LeastLoaded{}, 3)
+		type flight struct {
+			held Held
+			// until is the highest version that may be confirmed while the
+			// request runs.
+			until model.Version
+		}
+		var flights []*flight
+		phase := map[model.InstanceID]model.Phase{}
+		v, again := model.Version(1), false
+		r.Version = v
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(*rapid.T) {
+				if h, ok := r.Pick(start, "p", ""); ok {
+					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
+					flights = append(flights, &flight{held: h, until: 1 << 40})
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(flights) == 0 {
+					t.Skip()
+				}
+				k := rapid.IntRange(0, len(flights)-1).Draw(t, "which")
+				r.End(start, flights[k].held, OutcomeOK)
+				flights = append(flights[:k:k], flights[k+1:]...)
+			},
+			"step": func(t *rapid.T) {
+				id := model.InstanceID(fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "instance")))
+				held := v
+				v += model.Version(rapid.IntRange(1, 3).Draw(t, "versions"))
+				i := entryOf(id, v)
+				switch rapid.IntRange(0, 3).Draw(t, "phase") {
+				case 0:
+					i.Phase = model.PhaseReleasing
+				case 1:
+					i.Phase = model.PhaseMaintenance
+				case 2:
+					r.RemoveInstance(start, id, held)
+					i.Phase = model.PhaseRetired
+				}
+				if i.Phase != model.PhaseServing && phase[id] == model.PhaseServing {
+					limit := held
+					if i.Phase == model.PhaseReleasing {
+						limit = v - 1
+					}
+					for _, f := range flights {
+						if f.held.Upstream.Instance == id {
+							f.until = min(f.until, limit)
+						}
+					}
+				}
+				if i.Phase == model.PhaseServing && phase[id] != model.PhaseServing {
+					// Control waits for the confirmation first; without it the
+					// result may be lower than needed.
+					again = true
+				}
+				phase[id] = i.Phase
+				if i.Phase != model.PhaseRetired {
+					r.SetInstance(start, i, held)
+				}
+				r.Version = v
+			},
+			"": func(*rapid.T) {
+				want, old := v, 0
+				for _, f := range flights {
+					want = min(want, f.until)
+					if f.until <= v {
+						old++
+					}
+				}
+				assert.Assert(t, r.Drained() <= want, "%d was confirmed, %d is the most", r.Drained(), want)
+				if old == 0 || !again {
+					assert.Equal(t, r.Drained(), want)
+				}
+			},
+		})
+	})
+}
+
+// Guards against ejections that empty a pool, and against rooms that are given
+// out twice.
+func TestFloorKeepsThePoolAlive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "upstreams")
+		r := pool(LeastLoaded{}, n)
+		now := start
+		live := map[int]bool{}
+		for i := range n {
+			live[i] = true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				h, ok := r.Pick(now, "p", "")
+				assert.Assert(t, ok)
+				r.End(now, h, Outcome(rapid.IntRange(0, 5).Draw(t, "outcome")))
+			},
+			"member": func(t *rapid.T) {
+				i := rapid.IntRange(0, n-1).Draw(t, "upstream")
+				left := 0
+				for _, l := range live {
+					if l {
+						left++
+					}
+				}
+				if live[i] && left == 1 {
+					t.Skip()
+				}
+				live[i] = !live[i]
+				r.SetMember(now, announced(model.InstanceID(fmt.Sprint("i", i)), 1), live[i])
+			},
+			"time": func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "ms")) },
+			"": func(t *rapid.T) {
+				in := 0
+				members := r.pools["p"].members
+				for _, u := range members {
+					assert.Equal(t, u.Running, 0)
+					if !u.Ejected(now) {
+						in++
+					}
+				}
+				assert.Assert(t, in >= (len(members)+1)/2, "%d of %d are in", in, len(members))
+				assert.Assert(t, r.Room(now, "p") > 0)
+			},
+		})
+	})
+}
+
+// Guards against an upstream that fails everything and, because it is fast at
+// it, attracts the most work; and against ejecting for a fault that all share.
+func TestFailingUpstreamIsEjected(t *testing.T) {
+	for _, o := range []Outcome{OutcomeError, OutcomeUnknown, OutcomeConnect} {
+		r := pool(LeastLoaded{}, 4)
+		failed := 0
+		for range 400 {
+			h, ok := r.Pick(start, "p", "")
+			assert.Assert(t, ok)
+			if h.Upstream.Instance == "i2" {
+				failed++
+				r.End(start, h, o)
+				continue
+			}
+			r.End(start, h, OutcomeOK)
+		}
+		assert.Assert(t, failed <= 4, "%d requests went to the failing upstream", failed)
+		assert.Equal(t, r.Room(start, "p"), 24)
+		// It comes back slowly.
+		back := start + ejectBase
+		assert.Equal(t, r.Room(back, "p"), 25)
+		assert.Equal(t, r.Room(back+SlowStart, "p"), 32)
+
+		r = pool(LeastLoaded{}, 4)
+		ejected := 0
+		for range 400 {
+			h, _ := r.Pick(start, "p", "")
+			if r.End(start, h, o) {
+				ejected++
+			}
+		}
+		want := 0
+		if o == OutcomeConnect {
+			want = 1 // The first failed connection says nothing of the others.
+		}
+		assert.Equal(t, ejected, want, "ejections for a fault that all share")
+	}
+}
+
+// Guards against the outcome of a request to an earlier process of an upstream
+// being counted against the present one.
+func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
+	r := pool(LeastLoaded{}, 2)
+	h, _ := r.Pick(start, "p", "i0")
+	r.SetMember(start, announced(h.Upstream.Instance, 2), true)
+	assert.Assert(t, !r.End(start, h, OutcomeConnect))
+	assert.Equal(t, h.Upstream.Score, 0.0)
+	assert.Equal(t, h.Upstream.Running, 0)
+}
+
+// Guards against a newcomer that gets its whole share at once, and against a
+// process that has just started holding everybody back.
+func TestSlowStart(t *testing.T) {
+	r := pool(LeastLoaded{}, 2)
+	assert.Equal(t, r.Room(0, "p"), 16)
+	r.SetInstance(start, entryOf("new", 2), 1)
+	r.SetMember(start, announced("new", 1), true)
+	assert.Equal(t, r.Room(start, "p"), 17)
+	assert.Equal(t, r.Room(start+SlowStart/2, "p"), 20)
+	assert.Equal(t, r.Room(start+SlowStart, "p"), 24)
+}
+
+// Guards against a choice that ignores load; the baseline does.
+func TestLeastLoadedEvensOut(t *testing.T) {
+	uneven := func(pick func() (Held, bool), end func(Held)) int {
+		// Requests on i0 never end; all others end at once.
+		stuck := 0
+		for range 100 {
+			h, ok := pick()
+			if ok && h.Upstream.Instance == "i0" {
+				stuck++
+			} else if ok {
+				end(h)
+			}
+		}
+		return stuck
+	}
+	a, b := pool(LeastLoaded{}, 3), pool(&TakeTurns{}, 3)
+	least := uneven(func() (Held, bool) { return a.Pick(start, "p", "") }, func(h Held) { a.End(start, h, OutcomeOK) })
+	turns := uneven(func() (Held, bool) { return b.Pick(start, "p", "") }, func(h Held) { b.End(start, h, OutcomeOK) })
+	assert.Equal(t, least, 1)
+	assert.Equal(t, turns, 8)
+	h, ok := a.Pick(start, "p", "i1")
+	assert.Assert(t, ok && h.Upstream.Instance == "i2")
+}
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -92,7 +92,7 @@
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.member.Incarnation {
 		// A new process starts with a clean record and a slow start.
-		u.Score, u.EjectedUntil, u.Ejections, u.Since = 0, 0, 0, now
+		u.Score, u.EjectedUntil, u.Ejections, u.Returning, u.Since = 0, 0, 0, false, now
 	}
 	u.member, u.live = a, live
 	r.refresh(now, u)
@@ -129,7 +129,9 @@
 		u.Pool = pool
 		if pool != "" {
 			u.Since = now
-			r.group(pool).members = append(r.group(pool).members, u)
+			g := r.group(pool)
+			g.members = append(g.members, u)
+			g.keepFloor(now)
 		}
 	}
 	r.forget(u)
@@ -296,7 +298,9 @@
 }
 
 // Drained returns the highest version of the table such that no request in
-// flight uses an instance released at or below it.
+// flight uses an instance released at or below it. When an instance was routable
+// again before all earlier requests had ended, which control never allows, the
+// result can be lower than that.
 func (r *Router[P]) Drained() model.Version {
 	v := r.Version
 	for _, u := range r.blocked {
