--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"math"
 	"sync"
 
 	"camphorridge/core/state/clock"
@@ -40,6 +41,7 @@
 type input struct {
 	event  model.Event
 	since  uint64
+	limit  int
 	answer chan<- reply
 }
 
@@ -85,7 +87,7 @@
 		r.log.Add(m.event)
 		return
 	}
-	m.answer <- reply{r.log.Since(m.since), r.log.Dropped}
+	m.answer <- reply{r.log.Since(m.since, m.limit), r.log.Dropped}
 }
 
 // Record stamps the event and hands it to the duty. It never waits: an event
@@ -118,7 +120,11 @@
 
 // Events returns the events kept whose sequence number is above since, oldest
 // first. It waits for the events recorded before by the same goroutine.
-func (r *Recorder) Events(since uint64) []model.Event { return r.ask(since).events }
+func (r *Recorder) Events(since uint64) []model.Event { return r.Page(since, math.MaxInt) }
+
+// Page is Events for at most limit events, so that a long log is not copied
+// for one response.
+func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.ask(since, limit).events }
 
 // Counts are the counters of a recorder; they only grow.
 type Counts struct {
@@ -134,20 +140,20 @@
 
 // Counts returns the counters.
 func (r *Recorder) Counts() Counts {
-	dropped := r.ask(^uint64(0)).dropped
+	dropped := r.ask(0, 0).dropped
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Counts{Recorded: int64(r.seq), Lost: r.lost, Dropped: dropped, Rejected: r.hybrid.Rejected}
 }
 
-func (r *Recorder) ask(since uint64) reply {
+func (r *Recorder) ask(since uint64, limit int) reply {
 	answer := make(chan reply, 1)
-	if r.in.PutWait(input{since: since, answer: answer}, r.ended) {
+	if r.in.PutWait(input{since: since, limit: limit, answer: answer}, r.ended) {
 		select {
 		case a := <-answer:
 			return a
 		case <-r.ended:
 		}
 	}
-	return reply{r.log.Since(since), r.log.Dropped}
+	return reply{r.log.Since(since, limit), r.log.Dropped}
 }
--- a/core/coord/record/record_test.go
+++ b/core/coord/record/record_test.go
@@ -15,13 +15,14 @@
 // several goroutines record, and against a log that cannot be read after the
 // end of the duty.
 func TestConcurrentRecord(t *testing.T) {
-	r := record.New("e1", 10_000, clock.Real())
+	r := record.New("e1", 20_000, clock.Real())
 	ran := make(chan error, 1)
 	go func() { ran <- r.Run() }()
 	var wg sync.WaitGroup
+	const perGoroutine, total = 2000, 16_000
 	for range 8 {
 		wg.Go(func() {
-			for range 100 {
+			for range perGoroutine {
 				r.Record(model.Event{Kind: model.EventRefused})
 				r.Observe(r.Next())
 			}
@@ -30,14 +31,16 @@
 	wg.Wait()
 	check := func() {
 		events, counts := r.Events(0), r.Counts()
-		assert.Equal(t, counts.Recorded, int64(800))
-		assert.Equal(t, int64(len(events))+counts.Lost, int64(800))
+		assert.Equal(t, counts.Recorded, int64(total))
+		assert.Equal(t, int64(len(events))+counts.Lost, int64(total))
 		for i := 1; i < len(events); i++ {
 			assert.Assert(t, events[i-1].Seq < events[i].Seq)
 			assert.Assert(t, events[i-1].Stamp.Less(events[i].Stamp))
 			assert.Equal(t, events[i].Process, model.Process("e1"))
 		}
-		assert.Equal(t, len(r.Events(800)), 0)
+		assert.Equal(t, len(r.Events(total)), 0)
+		page := r.Page(events[2].Seq, 3)
+		assert.DeepEqual(t, page, events[3:6])
 	}
 	check()
 	r.Stop()
@@ -62,3 +65,16 @@
 	assert.Equal(t, counts.Lost+counts.Dropped+4, int64(3001))
 	assert.Assert(t, counts.Lost > 1)
 }
+
+// BenchmarkRecord measures what an event costs the goroutine that records it.
+func BenchmarkRecord(b *testing.B) {
+	r := record.New("e1", 4096, clock.Real())
+	ran := make(chan error, 1)
+	go func() { ran <- r.Run() }()
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(model.Event{Kind: model.EventRefused, Customer: "pomar-alto", Limit: "queue full"})
+	}
+	r.Stop()
+	<-ran
+}
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -18,6 +18,7 @@
 		{ID: "i1", Zone: "a", Pool: "log", Phase: model.PhaseServing},
 		{ID: "i2", Zone: "a", Pool: "log", Target: "fees", Phase: model.PhaseReleasing, Version: 40, Since: 90_000},
 		{ID: "i3", Zone: "b", Pool: "log", Target: "log", Phase: model.PhaseMaintenance, Since: 80_000},
+		{ID: "i5", Zone: "a", Pool: "fees", Phase: model.PhaseServing, Maintained: 70_000},
 		{ID: "i4", Zone: "b", Pool: "log", Phase: model.PhaseServing},
 	} {
 		instances[i.ID] = i
@@ -45,6 +46,7 @@
 		return e
 	}
 	return trail.Merge([]model.Event{
+		at(91_999, model.Event{Kind: model.EventEjected, Instance: "i4", Limit: "failures"}),
 		at(95_000, model.Event{Kind: model.EventRefused, Customer: "pomar", Request: "r1", Limit: "queue full", Detail: "first"}),
 		at(96_000, model.Event{Kind: model.EventRefused, Customer: "pomar", Request: "r2", Limit: "queue full", Detail: "second"}),
 		at(97_000, model.Event{Kind: model.EventUnknown, Customer: "pomar", Request: "r3", Instance: "i4"}),
@@ -100,6 +102,7 @@
 	assert.Equal(t, due[0].Maintenance, "kernel")
 	assert.Equal(t, due[1].Kind, trail.BlockBudget)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
+	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Blocks), 0, "maintained since the declaration")
 	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Known)
 }
 
--- a/core/state/trail/trail_test.go
+++ b/core/state/trail/trail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -37,7 +38,9 @@
 			causes[record(to)] = sent
 		}
 		position := map[model.Event]int{}
-		for i, e := range trail.Merge(append(lists, lists[0])...) {
+		merged := trail.Merge(append(lists, lists[0])...)
+		assert.Equal(t, len(merged), len(slices.Concat(lists...)), "an event of two lists must appear once")
+		for i, e := range merged {
 			position[e] = i + 1
 		}
 		for effect, cause := range causes {
@@ -77,10 +80,25 @@
 		}
 		first := max(total-capacity, 0)
 		assert.Equal(t, l.Dropped, int64(first))
-		got := l.Since(uint64(since))
-		assert.Equal(t, len(got), max(total-max(first, since), 0))
+		limit := rapid.IntRange(0, 30).Draw(t, "limit")
+		got := l.Since(uint64(since), limit)
+		assert.Equal(t, len(got), min(limit, max(total-max(first, since), 0)))
 		for i, e := range got {
 			assert.Equal(t, e.Seq, uint64(max(first, since)+i+1))
 		}
 	})
 }
+
+// BenchmarkMerge measures the merge of the time lines of 20 processes with
+// 5,000 events each.
+func BenchmarkMerge(b *testing.B) {
+	lists := make([][]model.Event, 20)
+	for p := range lists {
+		for i := range 5000 {
+			lists[p] = append(lists[p], model.Event{Stamp: model.Stamp{Wall: clock.Millis(i * 3)}, Process: model.Process(rune('a' + p)), Seq: uint64(i)})
+		}
+	}
+	for b.Loop() {
+		trail.Merge(lists...)
+	}
+}
--- a/core/state/trail/window.go
+++ b/core/state/trail/window.go
@@ -54,10 +54,12 @@
 	}
 }
 
-// Since returns the events whose Seq is above since, oldest first.
-func (l *Log) Since(since uint64) []model.Event {
+// Since returns the events whose Seq is above since, oldest first and at most
+// limit of them.
+func (l *Log) Since(since uint64, limit int) []model.Event {
 	n := l.events.Len()
 	i := sort.Search(n, func(i int) bool { return l.events.At(i).Seq > since })
+	n = i + min(n-i, max(limit, 0))
 	out := make([]model.Event, 0, n-i)
 	for ; i < n; i++ {
 		out = append(out, l.events.At(i))
--- a/io/proto/conf/decode.go
+++ b/io/proto/conf/decode.go
@@ -168,9 +168,14 @@
 func names[T any](keys []Key[T], section string) string {
 	var list []string
 	for _, k := range keys {
-		if _, ok := matchFamily(k.Section, section); ok {
-			list = append(list, k.Name)
+		if _, ok := matchFamily(k.Section, section); !ok {
+			continue
+		}
+		if strings.HasSuffix(k.Name, family) {
+			list = append(list, k.Name+" with a NAME of "+nameRule.allowed)
+			continue
 		}
+		list = append(list, k.Name)
 	}
 	return join(list)
 }
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 
@@ -68,6 +69,13 @@
 	})
 }
 
+// shuffled returns the events in the order of the processes.
+func shuffled() []model.Event {
+	out := events()
+	slices.SortStableFunc(out, func(a, b model.Event) int { return strings.Compare(string(a.Process), string(b.Process)) })
+	return out
+}
+
 func objects(s report.Status) trail.Objects {
 	o := trail.Objects{
 		Now: s.Now, Contracts: map[model.Customer]model.Contract{}, Instances: map[model.InstanceID]model.Instance{},
@@ -97,12 +105,15 @@
 		return func(w io.Writer, f report.Format) error { return report.Explain(w, f, x) }
 	}
 	return map[string]renderer{
-		"contracts":   func(w io.Writer, f report.Format) error { return report.Contracts(w, f, s) },
-		"contract":    func(w io.Writer, f report.Format) error { return report.Contract(w, f, s, "pruefkette") },
-		"instances":   func(w io.Writer, f report.Format) error { return report.Instances(w, f, s, model.Selector{}) },
+		"contracts": func(w io.Writer, f report.Format) error { return report.Contracts(w, f, s) },
+		"contract":  func(w io.Writer, f report.Format) error { return report.Contract(w, f, s, "pruefkette") },
+		"instances": func(w io.Writer, f report.Format) error { return report.Instances(w, f, s, model.Selector{}) },
+		"selected": func(w io.Writer, f report.Format) error {
+			return report.Instances(w, f, s, model.Selector{Pool: "log", Instance: "i2"})
+		},
 		"maintenance": func(w io.Writer, f report.Format) error { return report.Maintenance(w, f, s) },
 		"status":      func(w io.Writer, f report.Format) error { return report.Overview(w, f, s) },
-		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, events()) },
+		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, shuffled()) },
 		"customer":    explain(trail.ExplainCustomer(o, events(), "pruefkette")),
 		"instance":    explain(trail.ExplainInstance(o, events(), "i2")),
 		"request":     explain(trail.ExplainRequest(o, events(), "r-1")),
@@ -157,6 +168,7 @@
 	var b bytes.Buffer
 	assert.NilError(t, report.Timeline(&b, report.FormatHTML, many))
 	assert.Assert(t, strings.Contains(b.String(), "5000 older events are left out"))
+	assert.Equal(t, strings.Count(b.String(), "<tr class"), 20_000)
 	assert.Assert(t, b.Len() < 10<<20, "%d bytes", b.Len())
 	t.Logf("%d bytes", b.Len())
 }
--- a/io/proto/report/text.go
+++ b/io/proto/report/text.go
@@ -53,11 +53,11 @@
 	return b.String()
 }
 
-// clean replaces control characters, which could break lines or drive the
+// clean replaces control and other invisible characters, which could break lines or drive the
 // operator's terminal: some texts come from upstreams and callers.
 func clean(s string) string {
 	return strings.Map(func(r rune) rune {
-		if unicode.IsControl(r) || !unicode.IsPrint(r) && r != ' ' {
+		if !unicode.IsPrint(r) {
 			return '\uFFFD'
 		}
 		return r
--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -39,9 +39,9 @@
 	Registry metrics.Registry
 	// Ready returns the reason why the process is not ready; empty when it is.
 	Ready func() string
-	// Events returns the events with a sequence number above since, oldest
-	// first.
-	Events func(since uint64) []model.Event
+	// Events returns at most limit events with a sequence number above since,
+	// oldest first.
+	Events func(since uint64, limit int) []model.Event
 	// StopMillis bounds a graceful stop.
 	StopMillis clock.Millis
 	// ErrorLog takes the errors of connections; nil drops them.
@@ -144,8 +144,7 @@
 		}
 		since = n
 	}
-	events := s.cfg.Events(since)
-	data, err := report.EventsToJSON(events[:min(len(events), PageSize)])
+	data, err := report.EventsToJSON(s.cfg.Events(since, PageSize))
 	if err != nil {
 		text(w, http.StatusInternalServerError, err.Error())
 		return
--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -94,7 +95,7 @@
 	reason := "no table"
 	s, ran := start(t, admin.Config{
 		Ready:      func() string { return reason },
-		Events:     func(since uint64) []model.Event { return []model.Event{{Seq: since + 1, Kind: model.EventWait}} },
+		Events:     func(since uint64, _ int) []model.Event { return []model.Event{{Seq: since + 1, Kind: model.EventWait}} },
 		StopMillis: clock.Second,
 	})
 	for _, c := range []struct {
@@ -121,12 +122,12 @@
 }
 
 // TestFetch guards against events that are lost or fetched twice at the
-// border of two pages.
+// border of two pages, and against an error that is taken for no events.
 func TestFetch(t *testing.T) {
 	const total = 2*admin.PageSize + 1
-	s, _ := start(t, admin.Config{StopMillis: clock.Second, Events: func(since uint64) []model.Event {
+	s, _ := start(t, admin.Config{StopMillis: clock.Second, Events: func(since uint64, limit int) []model.Event {
 		var out []model.Event
-		for seq := since + 1; seq <= total; seq++ {
+		for seq := since + 1; seq <= total && len(out) < limit; seq++ {
 			out = append(out, model.Event{Seq: seq})
 		}
 		return out
@@ -137,6 +138,15 @@
 	for i, e := range events {
 		assert.Equal(t, e.Seq, uint64(i+3))
 	}
+	_, page := get(t, "GET", "http://"+s.Addr()+"/events")
+	assert.Equal(t, strings.Count(page, `"seq"`), admin.PageSize)
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "[]")
+	}))
+	defer refusing.Close()
+	_, err = admin.Fetch(t.Context(), http.DefaultClient, refusing.Listener.Addr().String(), 0)
+	assert.ErrorContains(t, err, "status 503")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = admin.Fetch(ctx, http.DefaultClient, s.Addr(), 0)
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -27,15 +27,11 @@
 // sorted by name.
 func Expose(w io.Writer, r metrics.Registry, labels []Label) error {
 	x := exposer{labels: labelText(labels), taken: map[string]bool{}}
-	all := map[string]any{}
-	r.Each(func(name string, m any) { all[name] = m })
-	names := make([]string, 0, len(all))
-	for name := range all {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		x.metric(name, all[name])
+	var all []named
+	r.Each(func(name string, m any) { all = append(all, named{name, m}) })
+	slices.SortFunc(all, func(a, b named) int { return strings.Compare(a.name, b.name) })
+	for _, n := range all {
+		x.metric(n.name, n.metric)
 	}
 	_, err := io.WriteString(w, x.out.String())
 	return err
