Add limits: derivation of every limit and feasibility of a contract

Cause: every limit has to follow from a contract in a way that can be explained, and a contract that the fleet cannot keep must not be accepted silently. Result: go test -race ./core/state/limits passes; rapid compares the spare shortfall with an exhaustive search of zone spreads.

--- /dev/null
+++ b/core/state/limits/derive.go
@@ -0,0 +1,210 @@
+package limits
+
+import (
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Name names a limit.
+type Name string
+
+// The limits that a contract leads to.
+const (
+	Concurrency    Name = "concurrency"
+	Queue          Name = "queue"
+	Retries        Name = "retries"
+	MaxUnavailable Name = "max-unavailable"
+	Budget         Name = "budget-ms"
+	Spare          Name = "spare"
+	MilliCores     Name = "milli-cores"
+	MemoryMiB      Name = "memory-mib"
+	Accelerators   Name = "accelerators"
+)
+
+// Rule names how a limit follows from its figures.
+type Rule string
+
+// The rules of derivation.
+const (
+	// RuleAsked: the contract's own figure.
+	RuleAsked Rule = "as asked"
+	// RuleSlots: the sum over the promised pools of instances times slots.
+	RuleSlots Rule = "promised instances x slots"
+	// RulePercent: a percentage of the concurrency, rounded down, so that
+	// retries never exceed the promised share.
+	RulePercent Rule = "percent of concurrency"
+	// RuleNoWindow: no window is set, so time out of service is unbounded.
+	RuleNoWindow Rule = "no window"
+	// RuleWhole: at most all instances of the customer can be unavailable.
+	RuleWhole Rule = "at most all instances"
+)
+
+// Figure is a number that a derivation used.
+type Figure struct {
+	Name  string
+	Value int64
+}
+
+// Limit is a derived limit together with its derivation.
+type Limit struct {
+	Name Name
+	// Asked is the contract's own figure; 0 leaves the limit to the rule.
+	Asked int64
+	Value int64
+	Rule  Rule
+	// Figures lists what the rule used, in the order of its use.
+	Figures []Figure
+}
+
+// Unbounded is the value of a limit that bounds nothing.
+const Unbounded = int64(1) << 62
+
+// Fleet is what the limits need to know about the machines.
+type Fleet struct {
+	// Instances must be sorted by ID, without retired ones.
+	Instances []model.Instance
+	// Workers is the sum of all workers' resources.
+	Workers model.Quota
+}
+
+// NewFleet sorts the instances that are part of the fleet.
+func NewFleet(instances map[model.InstanceID]model.Instance, workers model.Quota) Fleet {
+	f := Fleet{Workers: workers, Instances: make([]model.Instance, 0, len(instances))}
+	for _, i := range instances {
+		if i.Phase != model.PhaseRetired {
+			f.Instances = append(f.Instances, i)
+		}
+	}
+	slices.SortFunc(f.Instances, func(a, b model.Instance) int {
+		return cmpID(a.ID, b.ID)
+	})
+	return f
+}
+
+func cmpID[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Set is every limit of one customer.
+type Set struct {
+	Customer       model.Customer
+	Concurrency    Limit
+	Queue          Limit
+	Retries        Limit
+	MaxUnavailable Limit
+	Budget         Limit
+	Spare          Limit
+	MilliCores     Limit
+	MemoryMiB      Limit
+	Accelerators   Limit
+}
+
+// All lists the limits in a fixed order.
+func (s Set) All() []Limit {
+	return []Limit{
+		s.Concurrency, s.Queue, s.Retries, s.MaxUnavailable, s.Budget,
+		s.Spare, s.MilliCores, s.MemoryMiB, s.Accelerators,
+	}
+}
+
+// Slots is the policy that says how many slots one instance of a pool counts
+// for. The slots of the pool's instances come in ascending order.
+type Slots interface {
+	PerInstance(slots []int) int
+}
+
+// Derive returns every limit that the contract leads to.
+func Derive[P Slots](policy P, c model.Contract, f Fleet) Set {
+	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
+	s.Queue = asked(Queue, c.Queue)
+	s.Retries = Limit{
+		Name: Retries, Asked: int64(c.RetryPercent), Rule: RulePercent,
+		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
+		Figures: []Figure{
+			{"concurrency", s.Concurrency.Value},
+			{"retry-percent", int64(c.RetryPercent)},
+		},
+	}
+	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
+	if all := int64(Promised(c) + c.Spare); s.MaxUnavailable.Value > all {
+		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleWhole
+		s.MaxUnavailable.Figures = append(s.MaxUnavailable.Figures, Figure{"instances", all})
+	}
+	s.Budget = budget(c.BudgetMillis, c.WindowMillis)
+	s.Spare = asked(Spare, c.Spare)
+	s.MilliCores = asked(MilliCores, c.Quota.MilliCores)
+	s.MemoryMiB = asked(MemoryMiB, c.Quota.MemoryMiB)
+	s.Accelerators = asked(Accelerators, c.Quota.Accelerators)
+	return s
+}
+
+// Promised is the number of instances that a contract promises, without its
+// spare.
+func Promised(c model.Contract) int {
+	n := 0
+	for _, p := range c.Pools {
+		n += p.Instances
+	}
+	return n
+}
+
+func asked(name Name, v int) Limit {
+	return Limit{
+		Name: name, Asked: int64(v), Value: int64(v), Rule: RuleAsked,
+		Figures: []Figure{{string(name), int64(v)}},
+	}
+}
+
+func budget(b, window clock.Millis) Limit {
+	l := Limit{
+		Name: Budget, Asked: int64(b), Value: int64(b), Rule: RuleAsked,
+		Figures: []Figure{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
+	}
+	if window == 0 {
+		l.Value, l.Rule = Unbounded, RuleNoWindow
+	}
+	return l
+}
+
+func concurrency[P Slots](policy P, c model.Contract, f Fleet) Limit {
+	if c.Concurrency > 0 {
+		return asked(Concurrency, c.Concurrency)
+	}
+	l := Limit{Name: Concurrency, Rule: RuleSlots}
+	for _, p := range c.Pools {
+		per := policy.PerInstance(slotsOf(f, p.Pool))
+		l.Value += int64(p.Instances) * int64(per)
+		l.Figures = append(
+			l.Figures,
+			Figure{string(p.Pool) + " instances", int64(p.Instances)},
+			Figure{string(p.Pool) + " slots", int64(per)},
+		)
+	}
+	return l
+}
+
+// slotsOf returns the slots of the pool's instances in ascending order; those
+// of the whole fleet while the pool is empty, since instances will be moved
+// to it from there.
+func slotsOf(f Fleet, pool model.Pool) []int {
+	var own, all []int
+	for _, i := range f.Instances {
+		all = append(all, i.Slots)
+		if i.Pool == pool {
+			own = append(own, i.Slots)
+		}
+	}
+	if len(own) == 0 {
+		own = all
+	}
+	slices.Sort(own)
+	return own
+}
--- /dev/null
+++ b/core/state/limits/error.go
@@ -0,0 +1,89 @@
+package limits
+
+import (
+	"fmt"
+
+	"camphorridge/core/state/model"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of error.
+const (
+	// KindForm: the contract contradicts itself.
+	KindForm Kind = "form"
+	// KindShort: the verdict on the contract is a refusal.
+	KindShort Kind = "short"
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// CheckForm returns the first contradiction inside a contract: a name that is
+// missing or used twice, or a figure below its least value.
+func CheckForm(c model.Contract) error {
+	fail := func(format string, args ...any) error {
+		return &Error{Op: "check contract " + string(c.Customer), Kind: KindForm, Err: fmt.Errorf(format, args...)}
+	}
+	if c.Customer == "" {
+		return fail("no customer is named")
+	}
+	if len(c.Pools) == 0 {
+		return fail("no pool is promised")
+	}
+	seen := map[model.Pool]bool{}
+	for _, p := range c.Pools {
+		switch {
+		case p.Pool == "":
+			return fail("a pool has no name")
+		case seen[p.Pool]:
+			return fail("pool %s is listed twice", p.Pool)
+		case p.Instances < 1:
+			return fail("pool %s promises %d instances; the least is 1", p.Pool, p.Instances)
+		case p.Pool == c.SparePool:
+			return fail("pool %s is both promised and the spare", p.Pool)
+		}
+		seen[p.Pool] = true
+	}
+	if c.Spare > 0 && c.SparePool == "" {
+		return fail("%d spare instances but no spare pool", c.Spare)
+	}
+	if c.WindowMillis == 0 && c.BudgetMillis > 0 {
+		return fail("a budget of %d ms without a window", c.BudgetMillis)
+	}
+	for _, f := range figuresOf(c) {
+		if f.Value < 0 {
+			return fail("%s is %d; the least is 0", f.Name, f.Value)
+		}
+	}
+	if c.Covers < model.DomainInstance || c.Covers > model.DomainZone {
+		return fail("covers names no failure domain: %d", int(c.Covers))
+	}
+	return nil
+}
+
+func figuresOf(c model.Contract) []Figure {
+	return []Figure{
+		{"concurrency", int64(c.Concurrency)},
+		{"queue", int64(c.Queue)},
+		{"retry-percent", int64(c.RetryPercent)},
+		{"max-unavailable", int64(c.MaxUnavailable)},
+		{"budget-ms", int64(c.BudgetMillis)},
+		{"window-ms", int64(c.WindowMillis)},
+		{"spare", int64(c.Spare)},
+		{"milli-cores", int64(c.Quota.MilliCores)},
+		{"memory-mib", int64(c.Quota.MemoryMiB)},
+		{"accelerators", int64(c.Quota.Accelerators)},
+	}
+}
--- /dev/null
+++ b/core/state/limits/judge.go
@@ -0,0 +1,255 @@
+package limits
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// ShortKind tells the shortfalls apart.
+type ShortKind string
+
+// The kinds of shortfall.
+const (
+	// ShortForm: the contract contradicts itself.
+	ShortForm ShortKind = "form"
+	// ShortInstances: more instances are promised and reserved than owned.
+	ShortInstances ShortKind = "instances"
+	// ShortSpare: the spare is smaller than the loss of the largest failure
+	// domain that the contract covers.
+	ShortSpare ShortKind = "spare"
+	// ShortWidth: the instances cannot all be maintained by a deadline with
+	// max-unavailable at once.
+	ShortWidth ShortKind = "max-unavailable"
+	// ShortBudget: the window budget allows too few maintenances before a
+	// deadline.
+	ShortBudget ShortKind = "budget"
+	// ShortQuota: the quotas of all customers exceed the workers.
+	ShortQuota ShortKind = "quota"
+	// ShortSlots: the concurrency asked exceeds what the instances hold.
+	ShortSlots ShortKind = "slots"
+)
+
+// Shortfall is one way in which the fleet falls short of a contract.
+type Shortfall struct {
+	Kind ShortKind
+	// Subject is what falls short: a zone, a rack, a declaration, a resource.
+	Subject string
+	Need    int64
+	Have    int64
+	Text    string
+}
+
+// Decision is the outcome of a judgement.
+type Decision string
+
+// The decisions.
+const (
+	Accept      Decision = "accept"
+	AcceptShort Decision = "accept-with-shortfall"
+	Refuse      Decision = "refuse"
+)
+
+// Verdict is a decision with every shortfall found.
+type Verdict struct {
+	Decision   Decision
+	Shortfalls []Shortfall
+}
+
+// Err returns the refusal as an error of KindShort; nil for an acceptance.
+func (v Verdict) Err() error {
+	if v.Decision != Refuse {
+		return nil
+	}
+	texts := make([]string, 0, len(v.Shortfalls))
+	for _, s := range v.Shortfalls {
+		texts = append(texts, s.Text)
+	}
+	return &Error{Op: "judge contract", Kind: KindShort, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
+}
+
+// Settings are the figures that a judgement assumes.
+type Settings struct {
+	// MaintainMillis is how long one instance is out of service for one
+	// maintenance; at least 1.
+	MaintainMillis clock.Millis
+	// PeriodMillis is the time within which every instance must be maintained
+	// once; 0 turns the goal off.
+	PeriodMillis clock.Millis
+}
+
+// Question is a contract to be judged and what surrounds it.
+type Question struct {
+	Contract model.Contract
+	// Others holds every other accepted contract; an entry of the same
+	// customer is ignored.
+	Others       []model.Contract
+	Fleet        Fleet
+	Declarations []model.Maintenance
+	Now          clock.Millis
+}
+
+// Judge decides on a contract. Nothing that falls short is left out of the
+// verdict.
+func Judge[S Severity, P Slots](severity S, slots P, set Settings, q Question) Verdict {
+	var v Verdict
+	if err := CheckForm(q.Contract); err != nil {
+		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
+	} else {
+		all := allContracts(q)
+		v.Shortfalls = append(v.Shortfalls, shortInstances(all, q.Fleet)...)
+		v.Shortfalls = append(v.Shortfalls, shortSpare(q)...)
+		v.Shortfalls = append(v.Shortfalls, shortSlots(slots, q)...)
+		v.Shortfalls = append(v.Shortfalls, shortQuota(all, q.Fleet.Workers)...)
+		v.Shortfalls = append(v.Shortfalls, shortMaintenance(set, q)...)
+	}
+	v.Decision = Accept
+	for _, s := range v.Shortfalls {
+		if v.Decision != Refuse {
+			v.Decision = AcceptShort
+		}
+		if severity.Refuses(s) {
+			v.Decision = Refuse
+		}
+	}
+	return v
+}
+
+func allContracts(q Question) []model.Contract {
+	all := []model.Contract{q.Contract}
+	for _, c := range q.Others {
+		if c.Customer != q.Contract.Customer {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+func shortInstances(all []model.Contract, f Fleet) []Shortfall {
+	promised, spare := 0, 0
+	for _, c := range all {
+		promised += Promised(c)
+		spare += c.Spare
+	}
+	if promised+spare <= len(f.Instances) {
+		return nil
+	}
+	return []Shortfall{{
+		Kind: ShortInstances, Subject: "fleet", Need: int64(promised + spare), Have: int64(len(f.Instances)),
+		Text: fmt.Sprintf("%d instances promised and %d reserved as spare by %d contracts; the fleet owns %d",
+			promised, spare, len(all), len(f.Instances)),
+	}}
+}
+
+// shortSpare compares the spare with the loss of the worst covered domain
+// under the best possible spread. The domain's spare instances are lost with
+// it, so the spare must hold as many as the customer has in the domain.
+func shortSpare(q Question) []Shortfall {
+	c := q.Contract
+	total := Promised(c) + c.Spare
+	sizes := domainSizes(q.Fleet, c.Covers)
+	loss, name := evenLoad(sizes, total)
+	if loss <= c.Spare {
+		return nil
+	}
+	return []Shortfall{{
+		Kind: ShortSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Need: int64(loss), Have: int64(c.Spare),
+		Text: fmt.Sprintf("%s %s holds %d of the customer's %d instances even when they are spread evenly; the spare is %d",
+			c.Covers, name, loss, total, c.Spare),
+	}}
+}
+
+type domainSize struct {
+	name string
+	n    int
+}
+
+// domainSizes counts instances by domain, in ascending order of names.
+func domainSizes(f Fleet, d model.Domain) []domainSize {
+	count := map[string]int{}
+	for _, i := range f.Instances {
+		count[DomainOf(i, d)]++
+	}
+	sizes := make([]domainSize, 0, len(count))
+	for name, n := range count {
+		sizes = append(sizes, domainSize{name, n})
+	}
+	slices.SortFunc(sizes, func(a, b domainSize) int { return cmpID(a.name, b.name) })
+	return sizes
+}
+
+// DomainOf names the failure domain of that kind which holds the instance.
+func DomainOf(i model.Instance, d model.Domain) string {
+	switch d {
+	case model.DomainZone:
+		return string(i.Zone)
+	case model.DomainRack:
+		return string(i.Rack)
+	default:
+		return string(i.ID)
+	}
+}
+
+// evenLoad is the smallest possible count in the fullest domain when total
+// instances are spread over the domains, and the name of a domain that is
+// filled to it.
+func evenLoad(sizes []domainSize, total int) (load int, name string) {
+	largest := 0
+	for _, s := range sizes {
+		largest = max(largest, s.n)
+	}
+	for load = 0; load < largest; load++ {
+		room := 0
+		for _, s := range sizes {
+			room += min(s.n, load)
+		}
+		if room >= total {
+			break
+		}
+	}
+	for _, s := range sizes {
+		if s.n >= load {
+			return load, s.name
+		}
+	}
+	return load, ""
+}
+
+// shortSlots states a concurrency that the promised instances cannot run.
+func shortSlots[P Slots](slots P, q Question) []Shortfall {
+	open := q.Contract
+	open.Concurrency = 0
+	have := concurrency(slots, open, q.Fleet).Value
+	if int64(q.Contract.Concurrency) <= have {
+		return nil
+	}
+	return []Shortfall{{
+		Kind: ShortSlots, Subject: "concurrency", Need: int64(q.Contract.Concurrency), Have: have,
+		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", q.Contract.Concurrency, have),
+	}}
+}
+
+func shortQuota(all []model.Contract, have model.Quota) []Shortfall {
+	var need model.Quota
+	for _, c := range all {
+		need.MilliCores += c.Quota.MilliCores
+		need.MemoryMiB += c.Quota.MemoryMiB
+		need.Accelerators += c.Quota.Accelerators
+	}
+	var out []Shortfall
+	add := func(name Name, n, h int) {
+		if n > h {
+			out = append(out, Shortfall{
+				Kind: ShortQuota, Subject: string(name), Need: int64(n), Have: int64(h),
+				Text: fmt.Sprintf("quotas of %d contracts sum up to %d %s; the workers have %d", len(all), n, name, h),
+			})
+		}
+	}
+	add(MilliCores, need.MilliCores, have.MilliCores)
+	add(MemoryMiB, need.MemoryMiB, have.MemoryMiB)
+	add(Accelerators, need.Accelerators, have.Accelerators)
+	return out
+}
--- /dev/null
+++ b/core/state/limits/limits_test.go
@@ -0,0 +1,171 @@
+package limits
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// fleetOf makes n instances with 8 slots, round-robin over three zones and
+// four to a rack, all in pool "logs" but the last spare ones.
+func fleetOf(n, spare int) Fleet {
+	m := map[model.InstanceID]model.Instance{}
+	for k := range n {
+		zone := fmt.Sprintf("z%d", k%3)
+		i := model.Instance{
+			ID: model.InstanceID(fmt.Sprintf("i%04d", k)), Zone: model.Zone(zone), Pool: "logs", Slots: 8,
+			Rack: model.Rack(fmt.Sprintf("%s-r%d", zone, k/12)),
+		}
+		if k >= n-spare {
+			i.Pool = "portal"
+		}
+		m[i.ID] = i
+	}
+	return NewFleet(m, model.Quota{MilliCores: n * 16000, MemoryMiB: n * 32768})
+}
+
+func contract(instances, spare int, covers model.Domain) model.Contract {
+	return model.Contract{
+		Customer: "pruefkette", Covers: covers, Spare: spare, SparePool: "portal", MaxUnavailable: 4, RetryPercent: 10,
+		Pools: []model.PoolShare{{Pool: "logs", Instances: instances}},
+	}
+}
+
+// Guards against a split that admits more than the limit or depends on the
+// order in which the holders are listed.
+func TestShareSumsToTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(-3, 500).Draw(t, "total")
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,3}`), 1, 9, rapid.ID).Draw(t, "names")
+		var holders []model.Process
+		for _, n := range names {
+			holders = append(holders, model.Process(n))
+		}
+		sum := 0
+		for _, h := range holders {
+			part := Share(total, append(holders, h), h)
+			sum += part
+			if part < 0 || part > max(total, 0)/len(holders)+1 {
+				t.Fatalf("part %d of %d over %d", part, total, len(holders))
+			}
+		}
+		if sum != max(total, 0) {
+			t.Fatalf("parts sum up to %d, not %d", sum, total)
+		}
+	})
+	assert.Equal(t, Share(5, []model.Process{"b", "a"}, "a"), 3)
+	assert.Equal(t, Share(5, []model.Process{"b", "a"}, "c"), 0)
+}
+
+// Guards against a derived limit whose figures do not lead to its value.
+func TestDeriveKeepsDerivation(t *testing.T) {
+	s := Derive(LowestSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
+	assert.Equal(t, s.Concurrency.Value, int64(336))
+	assert.Equal(t, s.Concurrency.Rule, RuleSlots)
+	assert.DeepEqual(t, s.Concurrency.Figures, []Figure{{"logs instances", 42}, {"logs slots", 8}})
+	assert.Equal(t, s.Retries.Value, int64(33))
+	assert.Equal(t, s.Budget.Value, Unbounded)
+	assert.Equal(t, len(s.All()), 9)
+}
+
+// Guards against a shortfall that goes unstated or has the wrong numbers.
+func TestJudgeStatesShortfalls(t *testing.T) {
+	set := Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
+	rebase := func(f func(*Question)) Question {
+		q := Question{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
+		f(&q)
+		return q
+	}
+	for _, c := range []struct {
+		name       string
+		q          Question
+		decision   Decision
+		kind       ShortKind
+		need, have int64
+	}{
+		{"fits", rebase(func(*Question) {}), Accept, "", 0, 0},
+		{"zone", rebase(func(q *Question) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortSpare, 17, 8},
+		{"owned", rebase(func(q *Question) {
+			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
+		}), Refuse, ShortInstances, 51, 50},
+		{"width", rebase(func(q *Question) {
+			q.Declarations = []model.Maintenance{{Name: "m", Declared: 1, Deadline: 2 * clock.Hour}}
+		}), AcceptShort, ShortWidth, 50, 24},
+		{"budget", rebase(func(q *Question) {
+			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
+		}), AcceptShort, ShortBudget, 50, 12},
+		{"shared", rebase(func(q *Question) {
+			q.Contract.Pools[0].Instances = 40
+			q.Declarations = []model.Maintenance{{Name: "m", Declared: 1, Deadline: clock.Day}}
+			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
+		}), AcceptShort, ShortWidth, 42, 0},
+		{"quota", rebase(func(q *Question) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
+		{"slots", rebase(func(q *Question) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
+		{"form", rebase(func(q *Question) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
+	} {
+		v := Judge(Stated{}, LowestSlots{}, set, c.q)
+		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
+		if c.kind == "" {
+			assert.Equal(t, len(v.Shortfalls), 0, c.name)
+			continue
+		}
+		s := v.Shortfalls[0]
+		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
+		assert.Equal(t, [2]int64{s.Need, s.Have}, [2]int64{c.need, c.have}, c.name)
+		assert.Equal(t, Judge(Strict{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
+		var e *Error
+		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
+	}
+}
+
+// Guards against an acceptance without a stated shortfall where an exhaustive
+// search finds no spread that survives the loss of a zone.
+func TestSpareShortfallAgainstExhaustiveSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 12).Draw(t, "n")
+		spare := rapid.IntRange(0, n-1).Draw(t, "spare")
+		promised := rapid.IntRange(1, n-spare).Draw(t, "promised")
+		q := Question{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
+		short := len(shortSpare(q)) > 0
+		sizes, total, fits := domainSizes(q.Fleet, model.DomainZone), promised+spare, false
+		for a := 0; a <= sizes[0].n; a++ {
+			for b := 0; b <= sizes[1].n; b++ {
+				c := total - a - b
+				fits = fits || c >= 0 && c <= sizes[2].n && max(a, b, c) <= spare
+			}
+		}
+		if fits == short {
+			t.Fatalf("n=%d promised=%d spare=%d: short=%v but a spread that fits exists=%v", n, promised, spare, short, fits)
+		}
+	})
+}
+
+// BenchmarkSlots reports what each policy admits on pools with uneven slots
+// and by how much that exceeds the smallest instances.
+func BenchmarkSlots(b *testing.B) {
+	f := fleetOf(50, 8)
+	for k := range f.Instances {
+		f.Instances[k].Slots = 4 + k%3*4
+	}
+	c := contract(42, 8, model.DomainRack)
+	run(b, "lowest", LowestSlots{}, c, f)
+	run(b, "mean", MeanSlots{}, c, f)
+	run(b, "fixed-8", FixedSlots{N: 8}, c, f)
+}
+
+func run[P Slots](b *testing.B, name string, p P, c model.Contract, f Fleet) {
+	b.Run(name, func(b *testing.B) {
+		var s Set
+		for b.Loop() {
+			s = Derive(p, c, f)
+		}
+		b.ReportMetric(float64(s.Concurrency.Value), "admitted")
+		b.ReportMetric(float64(s.Concurrency.Value-42*4), "over-smallest")
+	})
+}
