Add maint: maintenance waves from state alone

Cause: instances have to reach maintenance on time without overspending any customer's budget, and a new leader has to go on where the old one stopped. Change: package maint with a board that is an index over the state (heap by due time, due instances by pool and rack, accounts by customer), the steps, waits, stops and late reports of a pass, three pacers and three judges.

--- /dev/null
+++ b/core/state/maint/bench_test.go
@@ -0,0 +1,202 @@
+package maint
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// BenchmarkWave reports, for each pacer, what a whole-fleet wave of 50
+// instances costs: its roll-out time, the instance-minutes out of service
+// (capacity that is not there), the excess pressure felt in peaks, and budget
+// violations, as means over 10 seeds.
+func BenchmarkWave(b *testing.B) {
+	for _, u := range []struct {
+		name   string
+		covers model.Domain
+		most   int
+	}{{"pruefkette", model.DomainRack, 4}, {"pomar-alto", model.DomainZone, 3}} {
+		benchWave(b, u.name+"/full-speed", FullSpeed{}, u.covers, u.most)
+		benchWave(b, u.name+"/proportional", Proportional{Halt: 60}, u.covers, u.most)
+		benchWave(b, u.name+"/deadline", Deadline{Slow: 60, Halt: 200}, u.covers, u.most)
+	}
+}
+
+func benchWave[P Pacer](b *testing.B, name string, p P, covers model.Domain, most int) {
+	b.Run(name, func(b *testing.B) {
+		const seeds = 10
+		var minutes, absent, felt, violations, missed, taken float64
+		for b.Loop() {
+			minutes, absent, felt, violations, missed, taken = 0, 0, 0, 0, 0, 0
+			for seed := range uint64(seeds) {
+				w := newWorld(seed, 50, 3, 5, 5, covers, most)
+				w.phase = clock.Millis(seed) * 12 * clock.Minute
+				m := w.declare(8 * clock.Hour)
+				board := NewBoard(p, Score{Z: 4, Least: 3}, quick())
+				board.Load(w.input())
+				for w.unfinished(m) > 0 && w.now < m.Declared+3*clock.Day {
+					out := w.peak()
+					tell(w, board)
+					for _, s := range board.Pass(w.now).Steps {
+						if s.Kind == StepReturn && !s.Done {
+							taken++
+						}
+						w.do(s)
+					}
+					absent += float64(out.count)
+					felt += float64(out.excess)
+					w.advance()
+				}
+				minutes += float64((w.now - m.Declared) / clock.Minute)
+				violations += float64(len(w.violations))
+				if w.now > m.Deadline {
+					missed++
+				}
+			}
+		}
+		b.ReportMetric(minutes/seeds, "rollout-min")
+		b.ReportMetric(absent/seeds, "absent-inst-min")
+		b.ReportMetric(felt/seeds, "excess-permille-min")
+		b.ReportMetric(taken/seeds, "taken-back")
+		b.ReportMetric(missed, "deadlines-missed")
+		b.ReportMetric(violations, "violations")
+	})
+}
+
+type peakOut struct{ count, excess int }
+
+// peak sets the pressure of the minute. Hours with peaks and quiet hours take
+// turns, shifted by the seed; in the former half of the minutes hold a peak, in which callers feel
+// 20 permille even of a whole fleet and 25 more for each instance that is out,
+// since the peak exceeds what the pool holds. The board is told the mean of
+// about the last four minutes: peaks are shorter than a maintenance.
+func (w *world) peak() peakOut {
+	n := 0
+	for id, i := range w.inst {
+		if out(i, w.seen[id]) {
+			n++
+		}
+	}
+	p := 0
+	if (w.now+w.phase)/clock.Hour%2 == 0 && w.rnd.IntN(2) == 0 {
+		p = 20 + 25*n
+	}
+	for _, c := range w.contracts {
+		w.pressure[c.Customer] = (3*w.pressure[c.Customer] + p) / 4
+	}
+	return peakOut{count: n, excess: max(0, p-20)}
+}
+
+// BenchmarkPass reports the time and memory of one pass with 12 changes, with
+// the index on and off.
+func BenchmarkPass(b *testing.B) {
+	for _, size := range []struct{ n, zones, pools int }{{50, 3, 5}, {500, 3, 10}, {5100, 20, 37}} {
+		for _, scan := range []bool{false, true} {
+			name := map[bool]string{false: "index", true: "scan"}[scan]
+			b.Run(fmt.Sprintf("%s/%d", name, size.n), func(b *testing.B) {
+				passes(b, newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2), scan)
+			})
+		}
+	}
+}
+
+func passes(b *testing.B, w *world, scan bool) {
+	set := Defaults()
+	set.Scan = scan
+	w.now = 100 * clock.Day
+	ids := sortedKeys(w.inst)
+	for k, id := range ids {
+		w.inst[id] = maintained(w.inst[id], w.now-clock.Millis(k)*40*clock.Day/clock.Millis(len(ids)))
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	board := NewBoard(FullSpeed{}, Score{Z: 4, Least: 3}, set)
+	board.Load(w.input())
+	board.Pass(w.now)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	k := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now += clock.Second
+		for range 12 {
+			k++
+			id := ids[k*7%len(ids)]
+			s := w.seen[id]
+			s.Calls++
+			w.seen[id] = s
+			board.SetSeen(id, s)
+		}
+		for _, s := range board.Pass(w.now).Steps {
+			w.do(s)
+			board.SetInstance(w.inst[s.Instance])
+			w.advance()
+			board.SetSeen(s.Instance, w.seen[s.Instance])
+		}
+	}
+	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
+}
+
+// BenchmarkJudge reports how many of 50 instances a wave touched before it
+// stopped, with touched instances that fail an eighth of their requests, and
+// how many of 20 waves with healthy instances stopped for no reason.
+func BenchmarkJudge(b *testing.B) {
+	judged(b, "never", Never{})
+	judged(b, "ratio", Ratio{Factor: 3, Least: 8})
+	judged(b, "score", Score{Z: 4, Least: 3})
+}
+
+func judged[J Judge](b *testing.B, name string, j J) {
+	b.Run(name, func(b *testing.B) {
+		var touched, wrong float64
+		for b.Loop() {
+			touched, wrong = 0, 0
+			for seed := range uint64(20) {
+				touched += 50 - float64(judgedRun(j, seed, true).unfinished(model.Maintenance{Declared: clock.Day}))
+				if judgedRun(j, seed, false).stopped {
+					wrong++
+				}
+			}
+		}
+		b.ReportMetric(touched/20, "touched-when-bad")
+		b.ReportMetric(wrong, "wrong-stops")
+	})
+}
+
+// judgedRun runs a wave for four hours. A returned instance has run few
+// requests at first: 8 a minute, one in 400 of which fails as on its peers.
+func judgedRun[J Judge](j J, seed uint64, bad bool) *world {
+	w := newWorld(seed, 50, 3, 5, 5, model.DomainRack, 4)
+	w.declare(8 * clock.Hour)
+	board := NewBoard(FullSpeed{}, j, quick())
+	board.Load(w.input())
+	for w.now < clock.Day+4*clock.Hour {
+		for _, id := range sortedKeys(w.inst) {
+			if i := w.inst[id]; i.Maintained > 1 && w.now-i.Maintained < 25*clock.Minute {
+				s := w.seen[id]
+				if w.now-i.Maintained <= clock.Minute {
+					s.Calls, s.Failures = 0, 0
+				}
+				for range 8 {
+					s.Calls++
+					if w.rnd.IntN(400) == 0 || bad && w.rnd.IntN(8) == 0 {
+						s.Failures++
+					}
+				}
+				w.seen[id] = s
+			}
+		}
+		tell(w, board)
+		plan := board.Pass(w.now)
+		w.note(plan)
+		for _, s := range plan.Steps {
+			w.do(s)
+		}
+		w.advance()
+	}
+	return w
+}
--- /dev/null
+++ b/core/state/maint/board.go
@@ -0,0 +1,280 @@
+package maint
+
+import (
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Board is the index that decisions are taken from. It is not safe for
+// concurrent use: one duty owns it.
+type Board[P Pacer, J Judge] struct {
+	pacer P
+	judge J
+	set   Settings
+	items map[model.InstanceID]*item
+	// inPool holds the items by their pool.
+	inPool   map[model.Pool]map[model.InstanceID]*item
+	accounts map[model.Customer]*account
+	// holders lists the customers that an outage in the pool counts for, in
+	// ascending order.
+	holders map[model.Pool][]model.Customer
+	waves   map[string]*wave
+	// names lists the waves in ascending order.
+	names []string
+	ready map[model.Pool]*yard
+	// flight holds the instances whose maintenance has begun.
+	flight map[model.InstanceID]*item
+	// stale holds what changed since the last pass.
+	stale map[model.InstanceID]bool
+	// dirty holds the pools whose due work may be able to start.
+	dirty map[model.Pool]bool
+	// check holds the waves whose deadlines are to be checked.
+	check map[string]bool
+	waits map[model.Pool]Wait
+	// closed holds the finished outages by pool, in the order they were told.
+	closed map[model.Pool][]Outage
+	// opened holds the start of each outage that lasts.
+	opened map[model.InstanceID]clock.Millis
+	due    Heap[due]
+	// wakes holds the earliest time in due for each pool and wave.
+	wakes map[string]clock.Millis
+	// pruned is when outages were last dropped.
+	pruned clock.Millis
+}
+
+// item is an instance with what it currently contributes to the counts.
+type item struct {
+	inst model.Instance
+	seen Seen
+	// applied is set while the fields below are part of the counts.
+	applied bool
+	out     bool
+	planned bool
+	// wave is the pending wave with the earliest deadline; nil for none.
+	wave     *wave
+	deadline clock.Millis
+	pending  []*wave
+	touched  []*wave
+	peer     []*wave
+	observed []*wave
+	tally    Tally
+	// wake is the earliest time in the due heap for this item; 0 for none.
+	wake clock.Millis
+}
+
+// NewBoard returns a board that knows no instance.
+func NewBoard[P Pacer, J Judge](pacer P, judge J, set Settings) *Board[P, J] {
+	set.StepMillis = max(set.StepMillis, 1)
+	set.RetryMillis = max(set.RetryMillis, 1)
+	b := &Board[P, J]{
+		pacer: pacer, judge: judge, set: set,
+		items:    map[model.InstanceID]*item{},
+		inPool:   map[model.Pool]map[model.InstanceID]*item{},
+		accounts: map[model.Customer]*account{},
+		holders:  map[model.Pool][]model.Customer{},
+		waves:    map[string]*wave{},
+		ready:    map[model.Pool]*yard{},
+		flight:   map[model.InstanceID]*item{},
+		stale:    map[model.InstanceID]bool{},
+		dirty:    map[model.Pool]bool{},
+		check:    map[string]bool{},
+		waits:    map[model.Pool]Wait{},
+		closed:   map[model.Pool][]Outage{},
+		opened:   map[model.InstanceID]clock.Millis{},
+		wakes:    map[string]clock.Millis{},
+	}
+	if set.PeriodMillis > 0 {
+		b.SetDeclaration(model.Maintenance{Name: Periodic, Declared: set.GoalStart})
+	}
+	return b
+}
+
+// Decide fills a board from the whole state and returns its first pass.
+func Decide[P Pacer, J Judge](pacer P, judge J, set Settings, in Input, now clock.Millis) Plan {
+	b := NewBoard(pacer, judge, set)
+	b.Load(in)
+	return b.Pass(now)
+}
+
+// Load tells the board a whole state.
+func (b *Board[P, J]) Load(in Input) {
+	for _, c := range in.Contracts {
+		b.SetContract(c)
+	}
+	for _, m := range in.Declarations {
+		b.SetDeclaration(m)
+	}
+	for _, i := range in.Instances {
+		b.SetInstance(i)
+	}
+	for id, s := range in.Seen {
+		b.SetSeen(id, s)
+	}
+	for _, o := range in.Outages {
+		b.SetOutage(o)
+	}
+	for c, p := range in.Pressure {
+		b.SetPressure(c, p)
+	}
+}
+
+// SetInstance tells the board the state of an instance.
+func (b *Board[P, J]) SetInstance(i model.Instance) {
+	it := b.item(i.ID)
+	b.undo(it)
+	delete(b.inPool[it.inst.Pool], i.ID)
+	it.inst = i
+	if b.inPool[i.Pool] == nil {
+		b.inPool[i.Pool] = map[model.InstanceID]*item{}
+	}
+	b.inPool[i.Pool][i.ID] = it
+}
+
+// SetSeen tells the board what is known of an instance.
+func (b *Board[P, J]) SetSeen(id model.InstanceID, s Seen) {
+	it := b.item(id)
+	b.undo(it)
+	it.seen = s
+}
+
+func (b *Board[P, J]) item(id model.InstanceID) *item {
+	it := b.items[id]
+	if it == nil {
+		it = &item{inst: model.Instance{ID: id, Phase: model.PhaseRetired}}
+		b.items[id] = it
+	}
+	return it
+}
+
+// SetContract tells the board a contract.
+func (b *Board[P, J]) SetContract(c model.Contract) {
+	pressure := 0
+	if old := b.accounts[c.Customer]; old != nil {
+		pressure = old.pressure
+	}
+	b.RemoveContract(c.Customer)
+	a := newAccount(c)
+	a.pressure = pressure
+	for _, p := range a.pools {
+		b.undoPool(p)
+	}
+	b.accounts[c.Customer] = a
+	for _, p := range a.pools {
+		b.holders[p] = append(b.holders[p], c.Customer)
+		slices.Sort(b.holders[p])
+	}
+	b.checkAll()
+}
+
+// RemoveContract makes the board forget a contract.
+func (b *Board[P, J]) RemoveContract(name model.Customer) {
+	a := b.accounts[name]
+	if a == nil {
+		return
+	}
+	for _, p := range a.pools {
+		b.undoPool(p)
+	}
+	delete(b.accounts, name)
+	for _, p := range a.pools {
+		b.holders[p] = slices.DeleteFunc(b.holders[p], func(c model.Customer) bool { return c == name })
+	}
+	b.checkAll()
+}
+
+func (b *Board[P, J]) undoPool(p model.Pool) {
+	b.dirty[p] = true
+	for _, it := range b.inPool[p] {
+		b.undo(it)
+	}
+}
+
+func (b *Board[P, J]) checkAll() {
+	for _, n := range b.names {
+		b.check[n] = true
+	}
+}
+
+// SetDeclaration tells the board a maintenance declaration.
+func (b *Board[P, J]) SetDeclaration(m model.Maintenance) {
+	b.RemoveDeclaration(m.Name)
+	b.waves[m.Name] = newWave(m)
+	b.names = append(b.names, m.Name)
+	slices.Sort(b.names)
+	b.check[m.Name] = true
+	for _, it := range b.items {
+		b.undo(it)
+	}
+}
+
+// RemoveDeclaration makes the board forget a declaration.
+func (b *Board[P, J]) RemoveDeclaration(name string) {
+	if b.waves[name] == nil {
+		return
+	}
+	for _, it := range b.items {
+		b.undo(it)
+	}
+	delete(b.waves, name)
+	delete(b.check, name)
+	b.names = slices.DeleteFunc(b.names, func(n string) bool { return n == name })
+}
+
+// SetOutage tells the board an outage. An entry with an end replaces the open
+// one with the same start.
+func (b *Board[P, J]) SetOutage(o Outage) {
+	if it := b.items[o.Instance]; it != nil {
+		b.undo(it)
+	}
+	if o.To == 0 {
+		b.opened[o.Instance] = o.From
+		return
+	}
+	if b.opened[o.Instance] == o.From {
+		delete(b.opened, o.Instance)
+	}
+	b.closed[o.Pool] = append(b.closed[o.Pool], o)
+	for _, c := range b.holders[o.Pool] {
+		b.accounts[c].spentAt = -1
+		b.touchPools(b.accounts[c])
+	}
+}
+
+// SetPressure tells the board what a customer's callers feel, in permille.
+func (b *Board[P, J]) SetPressure(c model.Customer, permille int) {
+	a := b.accounts[c]
+	if a == nil || a.pressure == permille {
+		return
+	}
+	a.pressure = permille
+	b.touchPools(a)
+}
+
+func (b *Board[P, J]) touchPools(a *account) {
+	for _, p := range a.pools {
+		b.dirty[p] = true
+	}
+}
+
+// prune drops the outages that no customer's window reaches any more, once an
+// hour because it looks at all of them.
+func (b *Board[P, J]) prune(now clock.Millis) {
+	if now < b.pruned+clock.Hour {
+		return
+	}
+	b.pruned = now
+	for p, list := range b.closed {
+		longest := clock.Millis(0)
+		for _, c := range b.holders[p] {
+			longest = max(longest, b.accounts[c].contract.WindowMillis)
+		}
+		b.closed[p] = slices.DeleteFunc(list, func(o Outage) bool { return o.To <= now-longest })
+	}
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/core/state/maint/heap.go
@@ -0,0 +1,69 @@
+package maint
+
+import "camphorridge/core/state/clock"
+
+// Ordered is the constraint on what a Heap holds.
+type Ordered[T any] interface {
+	Before(T) bool
+}
+
+// Heap is a binary heap; the smallest value is on top.
+type Heap[T Ordered[T]] struct {
+	items []T
+}
+
+// Len is the number of values held.
+func (h *Heap[T]) Len() int { return len(h.items) }
+
+// Top returns the smallest value; the heap must not be empty.
+func (h *Heap[T]) Top() T { return h.items[0] }
+
+// Push adds a value.
+func (h *Heap[T]) Push(v T) {
+	h.items = append(h.items, v)
+	for i := len(h.items) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h.items[i].Before(h.items[up]) {
+			return
+		}
+		h.items[i], h.items[up] = h.items[up], h.items[i]
+		i = up
+	}
+}
+
+// Pop removes and returns the smallest value; the heap must not be empty.
+func (h *Heap[T]) Pop() T {
+	top, last := h.items[0], len(h.items)-1
+	h.items[0] = h.items[last]
+	h.items = h.items[:last]
+	for i := 0; ; {
+		least := i
+		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
+			if h.items[c].Before(h.items[least]) {
+				least = c
+			}
+		}
+		if least == i {
+			return top
+		}
+		h.items[i], h.items[least] = h.items[least], h.items[i]
+		i = least
+	}
+}
+
+// due is a time at which an instance, a pool or a wave has to be looked at
+// again. Exactly one of the names is set.
+type due struct {
+	at       clock.Millis
+	instance string
+	pool     string
+	wave     string
+}
+
+// Before orders by time, then by name.
+func (d due) Before(e due) bool {
+	if d.at != e.at {
+		return d.at < e.at
+	}
+	return d.instance+d.pool+d.wave < e.instance+e.pool+e.wave
+}
--- /dev/null
+++ b/core/state/maint/maint_test.go
@@ -0,0 +1,185 @@
+package maint
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+func quick() Settings {
+	s := Defaults()
+	s.PeriodMillis = 0
+	return s
+}
+
+func (w *world) declare(deadline clock.Millis) model.Maintenance {
+	m := model.Maintenance{Name: "firmware", Declared: w.now, Deadline: w.now + deadline}
+	w.decls = append(w.decls, m)
+	return m
+}
+
+// run advances the world until the time is reached and the board with it. At
+// every pass a board that is newly filled has to decide the same.
+func run[P Pacer, J Judge](t rapid.TB, w *world, p P, j J, set Settings, until clock.Millis, each func()) {
+	b := NewBoard(p, j, set)
+	b.Load(Input{Contracts: w.contracts, Declarations: w.decls})
+	for w.now < until {
+		tell(w, b)
+		plan := b.Pass(w.now)
+		if w.now%(7*clock.Minute) == 0 {
+			fresh := Decide(p, j, set, w.input(), w.now)
+			assert.DeepEqual(t, fresh.Steps, plan.Steps)
+			assert.DeepEqual(t, fresh.Stops, plan.Stops)
+		}
+		w.note(plan)
+		for _, s := range plan.Steps {
+			w.do(s)
+		}
+		w.checkWindow()
+		w.advance()
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// Guards against an overspent budget, a second failure domain, a leader
+// change that decides differently, and a deadline that passes unreported,
+// with unplanned losses at any moment.
+func TestWavesUnderLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 18).Draw(t, "n")
+		covers := model.Domain(rapid.IntRange(0, 2).Draw(t, "covers"))
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, rapid.IntRange(1, 2).Draw(t, "per"), covers, rapid.IntRange(0, 4).Draw(t, "most"))
+		if rapid.Bool().Draw(t, "shared") {
+			// A customer of its own on a pool that another one holds too.
+			w.contracts = append(w.contracts, model.Contract{
+				Customer: "shared", Covers: model.DomainZone, MaxUnavailable: 2, Pools: []model.PoolShare{{Pool: "p00", Instances: 1}},
+			})
+		}
+		deadline := clock.Millis(rapid.IntRange(30, 600).Draw(t, "deadline")) * clock.Minute
+		m := w.declare(deadline)
+		losses := rapid.IntRange(0, 20).Draw(t, "losses")
+		ids := sortedKeys(w.inst)
+		run(t, w, FullSpeed{}, Never{}, quick(), m.Deadline+clock.Hour, func() {
+			id := ids[w.rnd.IntN(len(ids))]
+			w.lose(id, w.rnd.IntN(1000) < losses)
+			if w.now == m.Deadline && w.unfinished(m) > 0 && w.late[m.Name] == 0 {
+				t.Fatalf("%d instances are left at the deadline and no report was made", w.unfinished(m))
+			}
+		})
+		for _, v := range w.violations {
+			t.Fatal(v)
+		}
+	})
+}
+
+// Guards against an overspent window budget when all outages are planned.
+func TestWindowBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 12).Draw(t, "n"), 3, 1, 1, model.DomainZone, 3)
+		w.contracts[0].WindowMillis = clock.Millis(rapid.IntRange(30, 200).Draw(t, "window")) * clock.Minute
+		w.contracts[0].BudgetMillis = clock.Millis(rapid.IntRange(0, 60).Draw(t, "budget")) * clock.Minute
+		m := w.declare(20 * clock.Hour)
+		run(t, w, FullSpeed{}, Never{}, quick(), w.now+10*clock.Hour, nil)
+		for _, v := range w.violations {
+			t.Fatal(v)
+		}
+		if w.contracts[0].BudgetMillis < 10*clock.Minute && (w.unfinished(m) == 0 || w.late[m.Name] == 0) {
+			t.Fatal("a budget below one maintenance has to be reported and start nothing")
+		}
+	})
+}
+
+// Guards against a deadline that is missed although the estimate at its
+// declaration met it, for each pacer while callers suffer nothing.
+func TestFeasibleDeadlinesAreMet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 30).Draw(t, "n")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.Domain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
+		m := w.declare(1)
+		late := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now).Late
+		assert.Equal(t, len(late), 1)
+		w.decls[0].Deadline = late[0].Estimate
+		m = w.decls[0]
+		switch rapid.IntRange(0, 2).Draw(t, "pacer") {
+		case 0:
+			run(t, w, FullSpeed{}, Score{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+		case 1:
+			run(t, w, Proportional{Halt: 50}, Score{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+		default:
+			run(t, w, Deadline{Slow: 50, Halt: 200}, Score{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+		}
+		if left := w.unfinished(m); left > 0 || w.late[m.Name] > 0 || len(w.violations) > 0 {
+			t.Fatalf("%d left, reported late at %d, %v", left, w.late[m.Name], w.violations)
+		}
+	})
+}
+
+// Guards against a wave that goes on although what it touched fails, and
+// against one that stops although it does not.
+func TestWaveStopsOnFailures(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		w := newWorld(7, 30, 3, 3, 3, model.DomainRack, 4)
+		w.bad = bad
+		m := w.declare(clock.Day)
+		run(t, w, FullSpeed{}, Score{Z: 4, Least: 3}, quick(), w.now+6*clock.Hour, nil)
+		assert.Equal(t, w.stopped, bad)
+		if bad {
+			assert.Equal(t, w.unfinished(m), 29, "only the canary is touched")
+		} else {
+			assert.Equal(t, w.unfinished(m), 0)
+		}
+	}
+}
+
+// Guards against a pace that ignores what callers feel, and against waits that
+// do not name their limit.
+func TestPressureSlowsWave(t *testing.T) {
+	w := newWorld(3, 30, 3, 1, 1, model.DomainZone, 6)
+	w.inst["i0000"] = maintained(w.inst["i0000"], w.now)
+	w.now += clock.Hour
+	w.decls = []model.Maintenance{{Name: "firmware", Declared: clock.Day, Deadline: 9 * clock.Day}}
+	releases := func(p int) (int, Plan) {
+		w.pressure["c00"] = p
+		plan := Decide(Deadline{Slow: 50, Halt: 200}, Never{}, quick(), w.input(), w.now)
+		return len(plan.Steps), plan
+	}
+	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
+		n, plan := releases(c.pressure)
+		assert.Equal(t, n, c.steps, "pressure %d", c.pressure)
+		assert.Equal(t, len(plan.Waits), 1)
+		want := LimitPressure
+		if c.pressure == 0 {
+			want = LimitCount
+		}
+		assert.Equal(t, plan.Waits[0].Limit, want)
+		assert.Assert(t, plan.Waits[0].Unblock != "")
+	}
+}
+
+func maintained(i model.Instance, at clock.Millis) model.Instance {
+	i.Maintained = at
+	return i
+}
+
+// Guards against an instance that the periodic goal misses although budgets
+// allow it, and against two periods that start at the same moment.
+func TestPeriodicGoal(t *testing.T) {
+	w := newWorld(5, 24, 3, 2, 2, model.DomainRack, 2)
+	set := Defaults()
+	set.PeriodMillis, set.MarginMillis, set.GoalStart = 4*clock.Day, clock.Day, w.now
+	run(t, w, FullSpeed{}, Never{}, set, w.now+9*clock.Day, func() {
+		for _, i := range w.inst {
+			if w.now > i.Maintained+set.PeriodMillis && i.Maintained > 1 || w.now > 5*clock.Day && i.Maintained == 1 {
+				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.Maintained, w.now)
+			}
+		}
+	})
+	assert.Equal(t, len(w.violations), 0)
+	assert.Equal(t, w.late[Periodic], clock.Millis(0))
+}
--- /dev/null
+++ b/core/state/maint/pacer.go
@@ -0,0 +1,56 @@
+package maint
+
+// Felt is what a pacer decides by, for one customer.
+type Felt struct {
+	// Pressure is felt by the customer's callers, in permille.
+	Pressure int
+	// Max is the customer's max-unavailable.
+	Max int
+	// Needed is the number at once that would just meet the deadline.
+	Needed int
+}
+
+// Pacer is the policy that says how many of a customer's instances may be in
+// maintenance at once, given what its callers feel.
+type Pacer interface {
+	Width(Felt) int
+}
+
+// FullSpeed is the baseline: as many as the contract allows, whatever callers
+// feel.
+type FullSpeed struct{}
+
+// Width returns the contract's bound.
+func (FullSpeed) Width(f Felt) int { return f.Max }
+
+// Proportional slows down in proportion to the pressure and halts at Halt.
+type Proportional struct {
+	// Halt is the pressure in permille at which nothing more starts; at
+	// least 1.
+	Halt int
+}
+
+// Width is at least 1 below Halt, so that a wave under light pressure goes on.
+func (p Proportional) Width(f Felt) int {
+	if f.Pressure >= p.Halt {
+		return 0
+	}
+	return min(f.Max, max(1, f.Max*(p.Halt-f.Pressure)/p.Halt))
+}
+
+// Deadline slows down like Proportional but never below what the deadline
+// needs, up to Halt.
+type Deadline struct {
+	// Slow is the pressure in permille at which only the deadline's need
+	// remains; Halt, at least Slow, is where nothing more starts.
+	Slow int
+	Halt int
+}
+
+// Width returns the larger of both, within the contract's bound.
+func (p Deadline) Width(f Felt) int {
+	if f.Pressure >= p.Halt {
+		return 0
+	}
+	return min(f.Max, max(f.Needed, Proportional{Halt: p.Slow}.Width(f)))
+}
