Drive maintenance by the board of package maint in the mover

Cause: the mover's own wave interface was a second home for what package maint decides. Change: the mover feeds the board by deltas, reports and outages and turns its plan into steps of the log; lost instances are marked; [maintenance] settings.

--- /dev/null
+++ b/core/coord/mover/board.go
@@ -0,0 +1,96 @@
+package mover
+
+import (
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/maint"
+	"camphorridge/core/state/model"
+)
+
+// Board decides maintenance waves by package maint. It follows the table by
+// what changed, and is filled anew in each term.
+type Board[P maint.Pacer, J maint.Judge] struct {
+	pacer P
+	judge J
+	set   maint.Settings
+	board *maint.Board[P, J]
+	// declared holds the declarations that the board knows, by version.
+	declared map[string]model.Version
+}
+
+// NewBoard returns a board with the policies given.
+func NewBoard[P maint.Pacer, J maint.Judge](p P, j J, set maint.Settings) *Board[P, J] {
+	b := &Board[P, J]{pacer: p, judge: j, set: set}
+	b.Reset(nil)
+	return b
+}
+
+// Reset forgets everything and takes the finished outages, for a new term.
+func (b *Board[P, J]) Reset(outages []model.Outage) {
+	b.board = maint.NewBoard(b.pacer, b.judge, b.set)
+	b.declared = map[string]model.Version{}
+	for _, o := range outages {
+		b.board.SetOutage(maint.Outage{Instance: o.Instance, Pool: o.Pool, From: o.From, To: o.To})
+	}
+}
+
+// Follow tells the board what changed in the replicated state.
+func (b *Board[P, J]) Follow(c Changed) {
+	for _, x := range c.Delta.Contracts {
+		b.board.SetContract(x)
+	}
+	for _, x := range c.Delta.RemovedContracts {
+		b.board.RemoveContract(x)
+	}
+	for _, i := range c.Delta.Instances {
+		b.board.SetInstance(i)
+		if i.Out != 0 {
+			b.board.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.Out})
+		}
+	}
+	for _, o := range c.Outages {
+		b.board.SetOutage(maint.Outage{Instance: o.Instance, Pool: o.Pool, From: o.From, To: o.To})
+	}
+	for name, m := range c.Maintenance {
+		if b.declared[name] != m.Version {
+			b.declared[name] = m.Version
+			b.board.SetDeclaration(m)
+		}
+	}
+	for name := range b.declared {
+		if _, ok := c.Maintenance[name]; !ok {
+			delete(b.declared, name)
+			b.board.RemoveDeclaration(name)
+		}
+	}
+}
+
+// See tells the board what the entry processes say about an instance.
+func (b *Board[P, J]) See(id model.InstanceID, s maint.Seen) { b.board.SetSeen(id, s) }
+
+// Pass returns the steps that are due.
+func (b *Board[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
+
+// Changed is what a pass of the mover found new in the replicated state.
+type Changed struct {
+	Delta       model.Delta
+	Maintenance map[string]model.Maintenance
+	// Outages lists the outages that finished since the last pass, in the order
+	// of their ends.
+	Outages []model.Outage
+}
+
+// collect reads what changed after a version and an outage.
+func collect(s *fleet.State, from model.Version, after model.Outage) Changed {
+	c := Changed{Delta: s.Delta(from), Maintenance: make(map[string]model.Maintenance, len(s.Maintenance))}
+	for k, v := range s.Maintenance {
+		c.Maintenance[k] = v
+	}
+	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != after; i-- {
+		c.Outages = append(c.Outages, s.Outages[i])
+	}
+	slices.Reverse(c.Outages)
+	return c
+}
--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/maint"
 	"camphorridge/core/state/model"
 )
 
@@ -39,9 +40,9 @@
 	return first(steps)
 }
 
-// FinishRelease returns the step that ends a release, or the wait when an
-// entry process of the instance's zone has not confirmed it.
-func FinishRelease(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
+// FinishMove returns the step that ends a move, or the wait when an entry
+// process of the instance's zone has not confirmed the release.
+func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
 	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
 		return model.InstanceStep{}, &Wait{
 			Instance: i.ID, For: missing, Since: i.Since,
@@ -49,33 +50,64 @@
 		}
 	}
 	next := i
-	if i.Target == i.Pool {
-		next.Phase = model.PhaseMaintenance
-		next.Incarnation = g.Live[i.ID].Announcement.Incarnation
-	} else {
-		next.Phase = model.PhaseServing
-		next.Pool = i.Target
-		next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
-	}
+	next.Phase = model.PhaseServing
+	next.Pool = i.Target
+	next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
 	return model.InstanceStep{Base: i.Version, Instance: next}, nil
 }
 
-// FinishMaintenance returns the step that puts an instance back once it
-// announced itself again after its reboot, or the wait until then.
-func FinishMaintenance(i model.Instance, g *Registry, now clock.Millis) (model.InstanceStep, *Wait) {
-	l, live := g.Live[i.ID]
-	if !live || l.Announcement.Incarnation <= i.Incarnation || l.Announcement.State != model.AnnounceServing {
-		return model.InstanceStep{}, &Wait{
-			Instance: i.ID, Since: i.Since,
-			Reason: "the instance has not announced itself since its reboot",
+// MarkLost returns the steps that mark absent instances as lost and those
+// that mark instances as heard again. Instances of a zone that is silent as a
+// whole are left alone: it may be partitioned and serve its own callers.
+func MarkLost(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
+	var steps []model.InstanceStep
+	for id, since := range g.Absent {
+		i, ok := t.Instances[id]
+		if !ok || i.Phase != model.PhaseServing {
+			continue
+		}
+		if i.Lost != 0 || now-since < LossGrace || g.Silent(i.Zone, now) {
+			continue
+		}
+		next := i
+		next.Lost = now
+		next.Reason = "lost: no entry process hears it"
+		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
+	}
+	for id := range g.Fresh {
+		i, ok := t.Instances[id]
+		if !ok || i.Lost == 0 || i.Phase != model.PhaseServing {
+			continue
 		}
+		next := i
+		next.Lost = 0
+		next.Reason = "heard again"
+		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
+	return first(steps)
+}
+
+// FromPlan returns the step of the replicated log for a step of a maintenance
+// plan; ok is false for steps that change nothing there.
+func FromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
 	next := i
-	next.Phase = model.PhaseServing
-	next.Target = i.Pool
-	next.Maintained = now
-	next.Reason = "maintained"
-	return model.InstanceStep{Base: i.Version, Instance: next}, nil
+	next.Reason = s.Reason
+	switch s.Kind {
+	case maint.StepRelease:
+		next.Phase, next.Target = model.PhaseReleasing, i.Pool
+	case maint.StepHandOver:
+		next.Phase = model.PhaseMaintenance
+		next.Incarnation = g.Live[i.ID].Announcement.Incarnation
+	case maint.StepReturn:
+		next.Phase, next.Target = model.PhaseServing, i.Pool
+		if s.Done {
+			next.Maintained = now
+			next.Reason = "maintained: " + s.Reason
+		}
+	default:
+		return step, false
+	}
+	return model.InstanceStep{Base: i.Version, Instance: next}, true
 }
 
 // first orders the steps by instance, so that equal states give equal
--- /dev/null
+++ b/core/coord/mover/pass.go
@@ -0,0 +1,264 @@
+package mover
+
+import (
+	"context"
+	"fmt"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/maint"
+	"camphorridge/core/state/model"
+)
+
+func emptyTable() model.Table {
+	return model.Table{
+		Contracts: map[model.Customer]model.Contract{},
+		Instances: map[model.InstanceID]model.Instance{},
+	}
+}
+
+// pass brings the mover's copy of the table up to date and takes the steps
+// that are due.
+func (m *Mover[G, P, C, J]) pass() {
+	term, ok := m.group.Leads()
+	if !ok {
+		m.waits = nil
+		return
+	}
+	if term != m.term {
+		m.reset(term)
+	}
+	now := m.clock.Now()
+	if !m.refresh(now) {
+		return
+	}
+	steps := Enrol(m.table, m.registry)
+	moved, waits := m.finishMoves()
+	steps = append(steps, moved...)
+	if now-m.began >= warmUp {
+		steps = append(steps, MarkLost(m.table, m.registry, now)...)
+	}
+	m.registry.Settle(m.table)
+	m.seeZones(now)
+	m.seeUnderWay()
+	plan := m.board.Pass(now)
+	m.waits = append(waits, m.planWaits(plan)...)
+	steps = append(steps, m.planSteps(plan, now)...)
+	m.propose(distinct(steps))
+	m.reboots(now)
+}
+
+// distinct keeps the first step of each instance: a change must not hold two.
+func distinct(steps []model.InstanceStep) []model.InstanceStep {
+	seen := make(map[model.InstanceID]bool, len(steps))
+	kept := steps[:0]
+	for _, s := range steps {
+		if seen[s.Instance.ID] {
+			continue
+		}
+		seen[s.Instance.ID] = true
+		kept = append(kept, s)
+	}
+	return first(kept)
+}
+
+// refresh follows the replicated state by its deltas.
+func (m *Mover[G, P, C, J]) refresh(now clock.Millis) bool {
+	ctx, cancel := m.deadline()
+	defer cancel()
+	var c Changed
+	err := m.group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.outage) })
+	if err != nil {
+		return false
+	}
+	if !fleet.Merge(&m.table, c.Delta) {
+		// The state is older than the copy: another leader's snapshot came in
+		// between. The next pass starts anew.
+		m.reset(m.term)
+		return false
+	}
+	if len(c.Outages) > 0 {
+		m.outage = c.Outages[len(c.Outages)-1]
+	}
+	m.board.Follow(c)
+	for _, i := range c.Delta.Instances {
+		m.note(i, now)
+	}
+	return true
+}
+
+// note keeps the sets of instances under way.
+func (m *Mover[G, P, C, J]) note(i model.Instance, now clock.Millis) {
+	delete(m.moving, i.ID)
+	delete(m.away, i.ID)
+	switch {
+	case i.Phase == model.PhaseReleasing && i.Target != i.Pool:
+		m.moving[i.ID] = true
+	case i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance:
+		m.away[i.ID] = true
+	}
+	if i.Phase == model.PhaseMaintenance {
+		return
+	}
+	delete(m.rebooted, i.ID)
+	if i.Phase == model.PhaseServing {
+		m.registry.Watch(i.ID, now)
+		m.see(i.ID, maint.Seen{LostSince: i.Lost})
+	}
+}
+
+// see tells the board what is known of an instance, when that changed.
+func (m *Mover[G, P, C, J]) see(id model.InstanceID, s maint.Seen) {
+	if m.seen[id] == s {
+		return
+	}
+	m.seen[id] = s
+	m.board.See(id, s)
+}
+
+// seeZones counts the instances of zones that fell silent as lost, without
+// marking them in the log, and takes that back when a zone reports again.
+func (m *Mover[G, P, C, J]) seeZones(now clock.Millis) {
+	if now-m.began < warmUp {
+		return
+	}
+	changed := map[model.Zone]bool{}
+	for _, e := range m.Entries {
+		if quiet := m.registry.Silent(e.Zone, now); quiet != m.silent[e.Zone] {
+			m.silent[e.Zone] = quiet
+			changed[e.Zone] = true
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	for _, i := range m.table.Instances {
+		if !changed[i.Zone] || i.Phase != model.PhaseServing {
+			continue
+		}
+		s := maint.Seen{LostSince: i.Lost}
+		if s.LostSince == 0 && m.silent[i.Zone] {
+			s.LostSince = now
+		}
+		m.see(i.ID, s)
+	}
+}
+
+// seeUnderWay tells the board how far the instances in maintenance are.
+func (m *Mover[G, P, C, J]) seeUnderWay() {
+	for id := range m.away {
+		i := m.table.Instances[id]
+		s := maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0}
+		if i.Phase == model.PhaseMaintenance {
+			l, live := m.registry.Live[id]
+			s.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
+				l.Announcement.State == model.AnnounceServing
+			// An announcement is accepted only from a process that serves.
+			s.Verified = s.Restarted
+		}
+		m.see(id, s)
+	}
+}
+
+// finishMoves returns the steps of the moves that were confirmed.
+func (m *Mover[G, P, C, J]) finishMoves() ([]model.InstanceStep, []Wait) {
+	var steps []model.InstanceStep
+	var waits []Wait
+	for id := range m.moving {
+		step, wait := FinishMove(m.table.Instances[id], m.registry, m.Entries)
+		if wait != nil {
+			waits = append(waits, *wait)
+			continue
+		}
+		steps = append(steps, step)
+	}
+	return first(steps), waits
+}
+
+func (m *Mover[G, P, C, J]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
+	var steps []model.InstanceStep
+	for _, s := range plan.Steps {
+		if step, ok := FromPlan(s, m.table.Instances[s.Instance], m.registry, now); ok {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// planWaits turns the waits, stops and late deadlines of a plan into waits for
+// operators.
+func (m *Mover[G, P, C, J]) planWaits(plan maint.Plan) []Wait {
+	var waits []Wait
+	for id := range m.away {
+		i := m.table.Instances[id]
+		if i.Phase != model.PhaseReleasing {
+			continue
+		}
+		if missing := m.registry.Unconfirmed(m.Entries, i.Zone, i.Version); len(missing) > 0 {
+			waits = append(waits, Wait{
+				Instance: id, For: missing, Since: i.Since,
+				Reason: "an entry process has not confirmed the release",
+			})
+		}
+	}
+	for _, w := range plan.Waits {
+		waits = append(waits, Wait{
+			Instance: w.Instance,
+			Reason:   fmt.Sprintf("pool %s, wave %s: limit %s of %s: %d of %d; %s", w.Pool, w.Wave, w.Limit, w.Customer, w.Have, w.Max, w.Unblock),
+		})
+	}
+	for _, s := range plan.Stops {
+		waits = append(waits, Wait{Reason: fmt.Sprintf("wave %s stopped: %s", s.Wave, s.Reason)})
+	}
+	for _, l := range plan.Late {
+		waits = append(waits, Wait{Reason: fmt.Sprintf("wave %s will miss its deadline for %s: %s", l.Wave, l.Customer, l.Reason)})
+	}
+	return waits
+}
+
+// reboots asks the platform for the reboots that have not shown an effect.
+func (m *Mover[G, P, C, J]) reboots(now clock.Millis) {
+	for id := range m.away {
+		i := m.table.Instances[id]
+		if i.Phase != model.PhaseMaintenance || m.seen[id].Restarted {
+			continue
+		}
+		if asked, ok := m.rebooted[id]; ok && now-asked < rebootRetry {
+			continue
+		}
+		m.rebooted[id] = now
+		m.reboot(i)
+	}
+}
+
+func (m *Mover[G, P, C, J]) reboot(i model.Instance) {
+	ctx, cancel := m.deadline()
+	defer cancel()
+	detail := "asked the platform for a reboot"
+	if err := m.platform.Reboot(ctx, i); err != nil {
+		detail = "the platform refused the reboot: " + err.Error()
+	}
+	m.events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
+}
+
+func (m *Mover[G, P, C, J]) propose(steps []model.InstanceStep) {
+	if len(steps) == 0 {
+		return
+	}
+	ctx, cancel := m.deadline()
+	defer cancel()
+	r, err := m.group.Propose(ctx, model.Change{Kind: model.ChangeInstances, Author: m.Name, Instances: steps})
+	if err != nil || r.Kind != model.ResultApplied {
+		return
+	}
+	for _, s := range steps {
+		m.events(model.Event{
+			Kind: model.EventInstance, Instance: s.Instance.ID, Pool: s.Instance.Pool, Version: r.Version,
+			Detail: s.Instance.Phase.String() + ": " + s.Instance.Reason,
+		})
+	}
+}
+
+func (m *Mover[G, P, C, J]) deadline() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), callTimeout.Duration())
+}
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -35,6 +35,9 @@
 	// Fresh holds the instances that were announced since the last Settle and
 	// may have to be enrolled, so that a pass costs what changed.
 	Fresh map[model.InstanceID]bool
+	// Absent holds the watched instances that no entry process hears, with the
+	// time since when.
+	Absent map[model.InstanceID]clock.Millis
 }
 
 // LiveInstance is an instance that at least one entry process hears.
@@ -51,6 +54,7 @@
 		Processes: map[model.Process]ProcessReport{},
 		Live:      map[model.InstanceID]LiveInstance{},
 		Fresh:     map[model.InstanceID]bool{},
+		Absent:    map[model.InstanceID]clock.Millis{},
 	}
 }
 
@@ -61,7 +65,7 @@
 		return
 	}
 	if !known || r.Incarnation > held.Incarnation {
-		g.forget(r.Process)
+		g.forget(r.Process, now)
 		held = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, Since: now}
 	}
 	if r.Version != held.Version {
@@ -74,7 +78,16 @@
 		g.hear(r.Process, a, now)
 	}
 	for _, id := range r.Gone {
-		g.lose(r.Process, id)
+		g.lose(r.Process, id, now)
+	}
+}
+
+// Watch makes an instance absent from now on unless an entry process hears it.
+func (g *Registry) Watch(id model.InstanceID, now clock.Millis) {
+	_, live := g.Live[id]
+	_, absent := g.Absent[id]
+	if !live && !absent {
+		g.Absent[id] = now
 	}
 }
 
@@ -89,9 +102,10 @@
 	l.Heard[p] = true
 	g.Live[a.Instance] = l
 	g.Fresh[a.Instance] = true
+	delete(g.Absent, a.Instance)
 }
 
-func (g *Registry) lose(p model.Process, id model.InstanceID) {
+func (g *Registry) lose(p model.Process, id model.InstanceID, now clock.Millis) {
 	l, ok := g.Live[id]
 	if !ok {
 		return
@@ -99,12 +113,13 @@
 	delete(l.Heard, p)
 	if len(l.Heard) == 0 {
 		delete(g.Live, id)
+		g.Watch(id, now)
 	}
 }
 
-func (g *Registry) forget(p model.Process) {
+func (g *Registry) forget(p model.Process, now clock.Millis) {
 	for id := range g.Live {
-		g.lose(p, id)
+		g.lose(p, id, now)
 	}
 }
 
@@ -124,6 +139,16 @@
 	return missing
 }
 
+// Silent reports whether no entry process of the zone has reported lately.
+func (g *Registry) Silent(zone model.Zone, now clock.Millis) bool {
+	for _, r := range g.Processes {
+		if r.Zone == zone && now-r.Seen <= SilentAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // Settle forgets the fresh instances that are part of the fleet.
 func (g *Registry) Settle(t model.Table) {
 	for id := range g.Fresh {
--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -51,6 +51,12 @@
 		d.add("consensus", "heartbeat-ms", fmt.Sprint(c.Consensus.HeartbeatMillis), "above a third of election-ms",
 			fmt.Sprintf("at most %d with election-ms = %d", most, c.Consensus.ElectionMillis))
 	}
+	m := c.Maintenance
+	d.atMost("maintenance", "step-ms", m.StepMillis, "stuck-ms", m.StuckMillis)
+	if m.PeriodDays > 0 && m.MarginDays >= m.PeriodDays && d.sound("maintenance/") {
+		d.add("maintenance", "margin-days", fmt.Sprint(m.MarginDays), "not below period-days",
+			fmt.Sprintf("at most %d with period-days = %d", m.PeriodDays-1, m.PeriodDays))
+	}
 }
 
 func (d *decoder[T]) atMost(section, key string, value clock.Millis, other string, bound clock.Millis) {
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -54,6 +54,18 @@
 	Address string
 }
 
+// Maintenance holds the times of maintenance waves.
+type Maintenance struct {
+	// StepMillis is the longest time that one maintenance keeps an instance out
+	// of service; at most StuckMillis.
+	StepMillis   clock.Millis
+	CanaryMillis clock.Millis
+	StuckMillis  clock.Millis
+	// PeriodDays is 0 to turn the periodic goal off. MarginDays is below it.
+	PeriodDays int
+	MarginDays int
+}
+
 // Entry holds the settings of an entry process.
 type Entry struct {
 	Name   model.Process
@@ -86,6 +98,8 @@
 	Platforms []Platform
 	Limits    ControlLimits
 	Consensus Consensus
+	// Maintenance times the waves.
+	Maintenance Maintenance
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// EventCapacity is the number of time-line events kept.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -48,6 +48,13 @@
 			intKey("consensus", "segment-bytes", "bytes", "8388608", 4*kib, 1<<30, "size at which a log segment is closed", func(c *Control) *int64 { return &c.Consensus.SegmentBytes }),
 		},
 		[]Key[Control]{platformKey()},
+		[]Key[Control]{
+			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.StepMillis }),
+			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "time that the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
+			intKey("maintenance", "stuck-ms", "ms", "1200000", 100, 7*clock.Day, "time after which an instance in maintenance that did not come back counts as failed", func(c *Control) *clock.Millis { return &c.Maintenance.StuckMillis }),
+			intKey("maintenance", "period-days", "days", "49", 0, 3660, "time within which every instance is maintained once; 0 turns this off", func(c *Control) *int { return &c.Maintenance.PeriodDays }),
+			intKey("maintenance", "margin-days", "days", "7", 0, 3660, "how long before the end of the period an instance is taken up; below period-days", func(c *Control) *int { return &c.Maintenance.MarginDays }),
+		},
 		commonKeys(func(c *Control) *string { return &c.LogLevel }, func(c *Control) *int { return &c.EventCapacity }),
 	)
 }
