--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -96,7 +96,9 @@
 	Commit  uint64
 	Entries []Entry
 	Reject  bool
-	// Hint is the follower's last index in a rejected append.
+	// Hint is, in a rejected append, the largest index at which the follower's
+	// log may still agree; LogTerm is the term there. In a reply to a chunk it
+	// is the offset of that chunk.
 	Hint uint64
 	// Context returns with the reply of a heartbeat; it confirms reads.
 	Context  uint64
@@ -147,13 +149,17 @@
 	MaxAppendBytes int
 	// ChunkBytes bounds the data of one snapshot message.
 	ChunkBytes int
+	// KeepEntries is the number of entries that stay in memory behind a
+	// snapshot, so that a member that lags a little needs no snapshot.
+	KeepEntries uint64
 	// Seed feeds the random election timeouts.
 	Seed uint64
 }
 
 // Output is what the caller must do after a step, in this order: sync Hard
-// and Append to disk, install Snapshot, send Messages, apply Committed, answer
-// Reads.
+// and Append to disk, install the snapshot, call Persisted, send Messages,
+// apply Committed, answer Reads. When a write fails the caller writes the same
+// output again; until Persisted the node hands out no other.
 type Output struct {
 	// Hard is nil when the hard state did not change.
 	Hard *HardState
