Test the dispatcher duty

Cause: cancels, full rings, pauses and releases had no tests.

Change: tests with the real and the fake clock, none of which depends on the speed of the machine.

Result: go test -race -count 15 ./core/coord/entry passes.

--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"sync"
 	"testing"
+	"time"
 
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
@@ -9,6 +13,7 @@
 	"camphorridge/core/state/route"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 type dispatcher = Dispatcher[admit.Fair, route.LeastLoaded]
@@ -46,3 +51,187 @@
 		Slots: slots, Connections: slots, Incarnation: 1,
 	}
 }
+
+func try(ctx context.Context, d *dispatcher) (Grant, *Refusal) {
+	return d.Ask(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+}
+
+func must(t testing.TB, d *dispatcher) Grant {
+	t.Helper()
+	g, f := try(t.Context(), d)
+	assert.Assert(t, f == nil, "%+v", f)
+	return g
+}
+
+func until(t testing.TB, what string, ok func(Status) bool, d *dispatcher) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok(d.Snapshot()) {
+			return poll.Success()
+		}
+		return poll.Continue("waiting: %s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// Guards against waiters that are not started when a slot becomes free.
+func TestWaiterGetsTheFreedSlot(t *testing.T) {
+	d := start(t, 1, contract("acme", 10, 10))
+	first, second := must(t, d), must(t, d)
+	assert.Assert(t, first.Upstream.Instance != second.Upstream.Instance)
+	got := make(chan Grant)
+	go func() { got <- must(t, d) }()
+	until(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
+	d.Done(first.Ticket, OutcomeOK, 1)
+	third := <-got
+	assert.Equal(t, third.Upstream, first.Upstream)
+	// A second Done for a ticket changes nothing.
+	d.Done(first.Ticket, OutcomeOK, 1)
+	until(t, "stray", func(s Status) bool { return s.Counts.Strays == 1 && s.Customers[0].Running == 2 }, d)
+}
+
+// Guards against slots that are lost when callers give up at any moment.
+func TestCancelLosesNoSlot(t *testing.T) {
+	d := start(t, 2, contract("acme", 3, 50))
+	var wg sync.WaitGroup
+	for w := range 16 {
+		wg.Go(func() {
+			for k := range 300 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((w*k)%200)*time.Microsecond)
+				if g, f := try(ctx, d); f == nil {
+					d.Done(g.Ticket, OutcomeOK, 0)
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	until(t, "all ended", func(s Status) bool { return s.Counts.Dones == s.Counts.Grants }, d)
+	s := d.Snapshot()
+	assert.Equal(t, s.Customers[0].Running+s.Customers[0].Waiting, 0)
+	for _, u := range s.Upstreams {
+		assert.Equal(t, u.Running, 0)
+	}
+	assert.Equal(t, s.Counts.Asks, s.Counts.Grants+s.Counts.Refused)
+}
+
+// Guards against refusals that are late, or that name the wrong reason.
+func TestRefusals(t *testing.T) {
+	d := start(t, 1, contract("acme", 1, 0), contract("idle", 0, 0))
+	g := must(t, d)
+	for _, c := range []struct {
+		r    Request
+		kind RefusalKind
+	}{
+		{Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}, RefusalLimit},
+		{Request{Customer: "acme", Pool: "svc", Deadline: 1}, RefusalDeadline},
+		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalUnknown},
+		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalUnknown},
+	} {
+		_, f := d.Ask(t.Context(), c.r)
+		assert.Equal(t, f.Kind, c.kind, f.Reason)
+	}
+	d.Done(g.Ticket, OutcomeOK, 1)
+	retry := Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60, Retry: true, Avoid: g.Upstream.Instance}
+	g2, f := d.Ask(t.Context(), retry)
+	assert.Assert(t, f == nil && g2.Upstream.Instance != g.Upstream.Instance)
+	_, f = d.Ask(t.Context(), retry)
+	assert.Equal(t, f.Reason, "retry budget spent")
+	a := announcement("ia", 1)
+	a.State = model.AnnounceLeaving
+	assert.NilError(t, d.Announce(a))
+	a.Instance, a.Address = "ib", "10.0.0.1:ib"
+	assert.NilError(t, d.Announce(a))
+	d.Done(g2.Ticket, OutcomeOK, 1)
+	_, f = try(t.Context(), d)
+	assert.Equal(t, f.Kind, RefusalCapacity, f.Reason)
+	d.Stop()
+	_, f = try(t.Context(), d)
+	assert.Equal(t, f.Kind, RefusalReady)
+}
+
+// Guards against waiters that hang when their pool loses its last upstream.
+func TestWaitersOfAnEmptyPoolAreRefused(t *testing.T) {
+	d := start(t, 1, contract("acme", 10, 10))
+	must(t, d)
+	must(t, d)
+	got := make(chan *Refusal)
+	go func() {
+		_, f := try(context.Background(), d)
+		got <- f
+	}()
+	until(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
+	for _, id := range []model.InstanceID{"ia", "ib"} {
+		a := announcement(id, 1)
+		a.State = model.AnnounceLeaving
+		assert.NilError(t, d.Announce(a))
+	}
+	assert.Equal(t, (<-got).Kind, RefusalCapacity)
+}
+
+// Guards against a full ring that blocks callers or is not told.
+func TestFullRingRefuses(t *testing.T) {
+	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.Fair{}, route.LeastLoaded{})
+	for range 2 {
+		assert.Assert(t, d.in.Put(message{kind: messageDone}))
+	}
+	_, f := try(t.Context(), d)
+	assert.Equal(t, f.Kind, RefusalBusy)
+	assert.Equal(t, d.in.Refused(), int64(1))
+}
+
+// Guards against a table that goes back, and against a release confirmed while
+// a request still uses the instance.
+func TestTableAndDrained(t *testing.T) {
+	d := start(t, 1, contract("acme", 10, 10))
+	assert.Equal(t, d.Drained(), model.Version(5))
+	g := must(t, d)
+	i := instance(g.Upstream.Instance, 1)
+	i.Phase, i.Version = model.PhaseReleasing, 8
+	assert.NilError(t, d.Table(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
+	assert.Equal(t, d.Drained(), model.Version(7))
+	var e *Error
+	assert.Assert(t, errors.As(d.Table(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
+	assert.Assert(t, errors.As(d.Table(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
+	assert.Equal(t, d.Configuration().Version, model.Version(8))
+	other := must(t, d)
+	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
+	d.Done(g.Ticket, OutcomeOK, 1)
+	until(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
+	// A full table that no longer names the instance in use releases it.
+	assert.NilError(t, d.Table(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
+	assert.Equal(t, d.Drained(), model.Version(8))
+	d.Done(other.Ticket, OutcomeOK, 1)
+	until(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
+}
+
+// Guards against a process that was stopped serving by an old table, and
+// against one that takes all upstreams for dead when it wakes up.
+func TestPauseNeedsTheTableAgain(t *testing.T) {
+	fake := clock.NewFake(1000)
+	d := startOn(t, fake.Clock(), 4, contract("acme", 10, 10))
+	must(t, d)
+	fake.Advance(10 * clock.Minute)
+	_, f := try(t.Context(), d)
+	assert.Equal(t, f.Kind, RefusalReady)
+	assert.NilError(t, d.Table(model.Delta{From: 5, To: 5}))
+	must(t, d)
+	// Without announcements the grace ends after one lease.
+	for range 62 {
+		fake.Advance(clock.Second)
+		until(t, "tick", func(s Status) bool { return s.Pauses == 1 }, d)
+	}
+	until(t, "lapsed", func(Status) bool {
+		_, f := try(t.Context(), d)
+		return f != nil && f.Kind == RefusalCapacity
+	}, d)
+}
+
+// Guards against a share of a contract that does not follow the instances.
+func TestDerivedConcurrencyFollowsSlots(t *testing.T) {
+	c := contract("acme", 0, 1)
+	c.Pools[0].Instances = 3
+	d := start(t, 4, c)
+	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12)
+	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ia", 6)}}))
+	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 18)
+}
