--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 
 	"camphorridge/core/state/clock"
@@ -23,6 +24,10 @@
 	// Initialised is set once the process has been in a group; it is durable
 	// and never cleared.
 	Initialised bool
+	// Founders is the member list while all its members vote; empty elsewhere.
+	// A process that finds its own identity there was a founder whose own start
+	// was interrupted.
+	Founders []raft.Member
 }
 
 // Asker asks a control process who it is.
@@ -43,34 +48,54 @@
 	PlanJoin
 )
 
-// Decide returns the plan and, for PlanForm, the members of the new group.
-// answers holds one answer for each configured member that could be asked,
-// this process included.
-func Decide(configured []model.Member, answers []Hello) (Plan, []raft.Member) {
-	byName := make(map[model.Process]Hello, len(answers))
+// Decide returns the plan of the process self with, for PlanForm, the members
+// of the new group and, for PlanJoin, the processes that answered. answers
+// holds one answer for each configured member that could be asked, this
+// process included.
+func Decide(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
+	members := identified(configured, answers)
 	for _, a := range answers {
-		if a.Initialised {
-			return PlanJoin, nil
+		if !a.Initialised {
+			continue
+		}
+		// A founder's identity was never in use before, as its data folder is
+		// empty under the same identity: it can start from the same list.
+		if slices.ContainsFunc(a.Founders, func(m raft.Member) bool { return m.ID == self }) {
+			return PlanForm, a.Founders
 		}
+		return PlanJoin, members
+	}
+	if len(members) < len(configured) {
+		return PlanAskAgain, nil
+	}
+	for i := range members {
+		members[i].Voter = true
+	}
+	return PlanForm, members
+}
+
+// identified returns the configured processes that answered, in order of their
+// names.
+func identified(configured []model.Member, answers []Hello) []raft.Member {
+	byName := make(map[model.Process]Hello, len(answers))
+	for _, a := range answers {
 		byName[a.Name] = a
 	}
-	members := make([]raft.Member, 0, len(configured))
+	var members []raft.Member
 	for _, m := range configured {
-		a, ok := byName[m.Name]
-		if !ok || a.ID == 0 {
-			return PlanAskAgain, nil
+		if a := byName[m.Name]; a.ID != 0 {
+			members = append(members, raft.Member{ID: a.ID, Name: m.Name, Zone: m.Zone, Address: m.Address})
 		}
-		members = append(members, raft.Member{ID: a.ID, Name: m.Name, Zone: m.Zone, Address: m.Address, Voter: true})
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
-	return PlanForm, members
+	return members
 }
 
 // Wait asks the configured members until the plan is clear or done is closed;
 // it returns PlanAskAgain in the latter case.
 func Wait[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
-		plan, members := Decide(configured, ask(a, self, configured))
+		plan, members := Decide(self.ID, configured, ask(a, self, configured))
 		if plan != PlanAskAgain {
 			return plan, members
 		}
--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -51,6 +51,9 @@
 	inForce    atomic.Int64
 	// contact is the time of the last answer of a control member.
 	contact atomic.Int64
+	// answered says that the last question to a control member was answered;
+	// the next one may then be held back.
+	answered bool
 	// alone counts the rounds without an answer of a control member.
 	alone int
 }
@@ -116,11 +119,11 @@
 }
 
 // pollControl asks the control members in turn and reports whether one
-// answered. Without a table it asks them not to wait.
+// answered. Until one has, it asks them not to hold the answer back.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
 	for _, m := range p.Control {
 		wait := WatchWait
-		if p.Version() == 0 || p.alone > 0 {
+		if !p.answered {
 			wait = 0
 		}
 		callCtx, cancel := context.WithTimeout(ctx, (wait + watchSlack).Duration())
@@ -130,8 +133,10 @@
 			return true
 		}
 		if err != nil || !p.take(d) {
+			p.answered = false
 			continue
 		}
+		p.answered = true
 		p.contact.Store(int64(p.clock.Now()))
 		return true
 	}
--- /dev/null
+++ b/core/coord/group/doc.go
@@ -0,0 +1,3 @@
+// Package group is the duty that drives consensus and storage of a control
+// member.
+package group
--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -21,8 +21,9 @@
 	Reason string
 }
 
-// Enrol returns the steps that make announced instances part of the fleet.
-func Enrol(t model.Table, g *Registry) []model.InstanceStep {
+// Enrol returns the steps that make announced instances part of the fleet. The
+// period until their next maintenance starts now.
+func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for id := range g.Fresh {
 		l, live := g.Live[id]
@@ -34,7 +35,7 @@
 		steps = append(steps, model.InstanceStep{Instance: model.Instance{
 			ID: id, Zone: a.Zone, Rack: a.Rack, Pool: a.Pool, Target: a.Pool,
 			Phase: model.PhaseServing, Slots: a.Slots, Connections: a.Connections,
-			Reason: "announced",
+			Reason: "announced", Maintained: now,
 		}})
 	}
 	return first(steps)
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -32,7 +32,7 @@
 	if !m.refresh(now) {
 		return
 	}
-	steps := Enrol(m.table, m.registry)
+	steps := Enrol(m.table, m.registry, now)
 	moved, waits := m.finishMoves()
 	steps = append(steps, moved...)
 	if now-m.began >= warmUp {
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -134,7 +134,7 @@
 	s.Contracts[name] = next
 	s.Authors[object] = Author{Name: c.Author, Version: index}
 	s.touch(Touch{Version: index, Contract: name})
-	return model.Result{Version: index}
+	return model.Result{Version: index, Reason: c.Note}
 }
 
 func (s *State) removeContract(index model.Version, c model.Change) model.Result {
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -31,7 +31,10 @@
 	Author string
 	// Base is the version of the object that the change was made against; 0
 	// for an object that does not exist.
-	Base        Version
+	Base Version
+	// Note is what the leader states when it accepts a contract that falls
+	// short; it becomes the reason of the result.
+	Note        string
 	Contract    Contract
 	Customer    Customer
 	Maintenance Maintenance
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -15,6 +15,7 @@
 		Request: text(c.Request),
 		Author:  text(c.Author),
 		Base:    uint64(c.Base),
+		Note:    text(c.Note),
 	}
 	switch c.Kind {
 	case model.ChangeContractApply:
@@ -46,6 +47,7 @@
 		Request: model.RequestID(w.GetRequest()),
 		Author:  w.GetAuthor(),
 		Base:    model.Version(w.GetBase()),
+		Note:    w.GetNote(),
 	}
 	switch kind {
 	case model.ChangeContractApply:
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -40,10 +40,14 @@
 func (s *ConsensusServer[G]) Hello(_ context.Context, r *wirepb.HelloRequest) (*wirepb.HelloResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	h := s.Group.Hello()
-	return &wirepb.HelloResponse{
+	w := &wirepb.HelloResponse{
 		Name: string(h.Name), Id: uint64(h.ID), Initialised: h.Initialised,
 		Stamp: codec.StampToWire(s.Stamps.Next()),
-	}, nil
+	}
+	for _, m := range h.Founders {
+		w.Founders = append(w.Founders, codec.MemberToWire(m))
+	}
+	return w, nil
 }
 
 // Hello asks a control process who it is.
@@ -53,10 +57,12 @@
 		return boot.Hello{}, c.failed("hello "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
-	return boot.Hello{
+	h := boot.Hello{
 		Name: model.Process(resp.GetName()), ID: raft.MemberID(resp.GetId()),
 		Initialised: resp.GetInitialised(),
-	}, nil
+	}
+	h.Founders, err = each(resp.GetFounders(), codec.MemberFromWire)
+	return h, err
 }
 
 // TimelineServer serves the events of one process.
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -49,8 +49,9 @@
 	Status(ctx context.Context) mover.Status
 }
 
-// Checker refuses a change before it is proposed; empty means accepted.
-type Checker func(s *fleet.State, c model.Change) (reason string)
+// Checker judges a change before it is proposed. It returns why the change is
+// refused, or what is to be stated with its acceptance.
+type Checker func(s *fleet.State, c model.Change) (refusal, note string)
 
 // ControlServer serves the control service in a control process.
 type ControlServer[G Group, M Mover] struct {
@@ -85,9 +86,11 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("change", err.Error())
 	}
-	if reason := s.refusal(ctx, c); reason != "" {
-		return s.answer(c, model.Result{Kind: model.ResultInvalid, Reason: reason}), nil
+	refusal, note := s.judge(ctx, c)
+	if refusal != "" {
+		return s.answer(c, model.Result{Kind: model.ResultInvalid, Reason: refusal}), nil
 	}
+	c.Note = note
 	res, err := s.Group.Propose(ctx, c)
 	if err != nil {
 		return nil, s.proposeError(err)
@@ -95,22 +98,22 @@
 	return s.answer(c, res), nil
 }
 
-// refusal checks a change that was not answered before.
-func (s *ControlServer[G, M]) refusal(ctx context.Context, c model.Change) string {
+// judge checks a change that was not answered before. Without an answer of
+// the duty nothing is refused: the proposal fails by itself.
+func (s *ControlServer[G, M]) judge(ctx context.Context, c model.Change) (refusal, note string) {
 	if s.Check == nil || c.Kind == model.ChangeClaims || c.Kind == model.ChangeOutcomes {
-		return ""
+		return "", ""
 	}
-	var reason string
 	err := s.Group.Query(ctx, func(st *fleet.State) {
 		if _, answered := st.Results.Get(c.Request); answered && c.Request != "" {
 			return
 		}
-		reason = s.Check(st, c)
+		refusal, note = s.Check(st, c)
 	})
 	if err != nil {
-		return ""
+		return "", ""
 	}
-	return reason
+	return refusal, note
 }
 
 // proposeError maps an error of the duty. Only an error before the proposal
@@ -151,6 +154,11 @@
 // time asked for.
 func (s *ControlServer[G, M]) Watch(ctx context.Context, r *wirepb.WatchRequest) (*wirepb.WatchResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	// A member that hears no leader may lag by any time; the caller asks another
+	// one or its neighbours.
+	if s.Group.Status().Leader.ID == 0 {
+		return nil, twirp.NewError(twirp.Unavailable, "no leader is known")
+	}
 	from := model.Version(r.GetVersion())
 	if wait := min(clock.Millis(r.GetWaitMs()), maxWatchWait); wait > 0 {
 		waitCtx, cancel := context.WithTimeout(ctx, wait.Duration())
--- /dev/null
+++ b/io/trans/roles/control.go
@@ -0,0 +1,183 @@
+package roles
+
+import (
+	"io"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+
+	"camphorridge/core/coord/boot"
+	"camphorridge/core/coord/mover"
+	"camphorridge/core/coord/record"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/maint"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+	"camphorridge/core/state/store"
+	"camphorridge/io/proto/codec"
+	"camphorridge/io/proto/conf"
+	"camphorridge/io/trans/admin"
+	"camphorridge/io/trans/logs"
+	"camphorridge/io/trans/peers"
+)
+
+// The policies of the product: a wave stops when what it touched fails
+// significantly more than its peers, and slows down by what callers feel.
+type (
+	disk       = store.Store[codec.Codec, store.Disk]
+	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score]
+	keeperDuty = boot.Keeper[*peers.Client, *seat]
+)
+
+// Pressure in permille at which waves slow down and halt, and the score at
+// which a wave stops.
+const (
+	slowPermille = 60
+	haltPermille = 200
+	stopScore    = 4
+	stopLeast    = 3
+)
+
+// Control is a running control process.
+type Control struct {
+	cfg      conf.Control
+	clock    clock.Clock
+	log      *log.Logger
+	recorder *record.Recorder
+	client   *peers.Client
+	senders  *peers.Senders
+	disk     *disk
+	member   *seat
+	mover    *moverDuty
+	keeper   *keeperDuty
+}
+
+// RunControl runs a control process until a signal stops it.
+func RunControl(cfg conf.Control, out io.Writer) error {
+	lg, err := logs.New(out, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
+	if err != nil {
+		return err
+	}
+	c, err := newControl(cfg, lg)
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	addSignals(&g, lg)
+	if err := c.serve(&g); err != nil {
+		return err
+	}
+	c.record(model.Event{Kind: model.EventStart, Detail: "control"})
+	err = g.Run()
+	c.client.Close()
+	if cerr := c.disk.Close(); cerr != nil && err == nil {
+		err = &Error{Op: "close the data folder", Kind: KindStore, Err: cerr}
+	}
+	lg.Info("stopped", "err", err)
+	return err
+}
+
+func newControl(cfg conf.Control, lg *log.Logger) (*Control, error) {
+	clk := clock.Real()
+	self := memberOf(cfg.Controls, cfg.Name)
+	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.Disk]{
+		Self:         raft.Member{Name: self.Name, Zone: self.Zone, Address: self.Address},
+		SegmentBytes: cfg.Consensus.SegmentBytes,
+	})
+	if err != nil {
+		return nil, &Error{Op: "open the data folder", Kind: KindStore, Err: err}
+	}
+	c := &Control{cfg: cfg, clock: clk, log: lg, disk: d}
+	c.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
+	c.client = peers.NewClient(cfg.Name, c.recorder)
+	c.senders = peers.NewSenders(c.client, cfg.Controls)
+	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
+	c.member = newSeat(hello)
+	c.keeper = boot.NewKeeper(hello, cfg.Controls, c.client, c.member, clk, func(detail string) {
+		c.record(model.Event{Kind: model.EventRole, Detail: detail})
+	})
+	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
+		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
+	c.mover = mover.New(string(cfg.Name), cfg.Entries, c.member, newPlatform(cfg.Platforms), board, clk, c.record)
+	return c, nil
+}
+
+func initialised(s raft.Stored) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
+
+func waveSettings(m conf.Maintenance) maint.Settings {
+	s := maint.Defaults()
+	s.StepMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
+	s.PeriodMillis = clock.Millis(m.PeriodDays) * clock.Day
+	s.MarginMillis = clock.Millis(m.MarginDays) * clock.Day
+	return s
+}
+
+// record adds an event to the time line and logs it when it is a change of
+// state.
+func (c *Control) record(e model.Event) {
+	c.recorder.Record(e)
+	logs.Event(c.log, e)
+}
+
+// serve listens and adds all parts in the order in which they stop.
+func (c *Control) serve(g *run.Group) error {
+	l, err := listen("peers", c.cfg.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	adm, err := admin.New(c.admin())
+	if err != nil {
+		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
+	}
+	server := &peers.ControlServer[*seat, *moverDuty]{
+		Self: memberOf(c.cfg.Controls, c.cfg.Name), Controls: c.cfg.Controls, Entries: c.cfg.Entries,
+		Group: c.member, Mover: c.mover, Check: newChecker(c.cfg, c.clock).check,
+		Stamps: c.recorder, Clock: c.clock, Record: c.record,
+	}
+	timeline := peers.TimelineServer{Events: func(since uint64) ([]model.Event, int64) {
+		return c.recorder.Events(since), c.recorder.Counts().Dropped
+	}}
+	consensusServer := &peers.ConsensusServer[*seat]{Group: c.member, Stamps: c.recorder}
+	add(g, c.mover)
+	add(g, c.keeper)
+	addServer(g, l, peers.Mux(server, consensusServer, nil, timeline), peerStop)
+	add(g, newFormation(c))
+	add(g, adm)
+	add(g, c.recorder)
+	return nil
+}
+
+func (c *Control) admin() admin.Config {
+	return admin.Config{
+		Address: c.cfg.Listen.Admin,
+		Labels:  []admin.Label{{Name: "process", Value: string(c.cfg.Name)}, {Name: "zone", Value: string(c.cfg.Zone)}},
+		Ready:   c.notReady, Events: c.recorder.Page, StopMillis: peerStop, Registry: c.metrics(),
+	}
+}
+
+// notReady is the reason why this process takes no part in the group yet.
+func (c *Control) notReady() string {
+	if c.member.Status().Leader.ID == 0 {
+		return "no leader is known"
+	}
+	return ""
+}
+
+func (c *Control) metrics() metrics.Registry {
+	r := metrics.NewRegistry()
+	counters(r, []counter{
+		{"messages-dropped", c.senders.Dropped},
+		{"reports-refused", c.mover.Refused},
+		{"events-dropped", func() int64 { return c.recorder.Counts().Dropped }},
+	})
+	_ = admin.Value(r, "term", func() int64 { return int64(c.member.Status().Term) })
+	_ = admin.Value(r, "commit-index", func() int64 { return int64(c.member.Status().Commit) })
+	_ = admin.Value(r, "leader", func() int64 {
+		if _, ok := c.member.Leads(); ok {
+			return 1
+		}
+		return 0
+	})
+	return r
+}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -1,7 +1,6 @@
 package roles
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
 
 	"camphorridge/core/coord/claim"
 	"camphorridge/core/coord/entry"
@@ -17,11 +17,14 @@
 	"camphorridge/core/coord/roster"
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/member"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/ring"
 	"camphorridge/core/state/route"
 	"camphorridge/io/proto/conf"
+	"camphorridge/io/trans/admin"
 	"camphorridge/io/trans/front"
+	"camphorridge/io/trans/logs"
 	"camphorridge/io/trans/peers"
 	"camphorridge/io/trans/uplink"
 )
@@ -57,7 +60,7 @@
 
 // RunEntry runs an entry process until a signal stops it.
 func RunEntry(cfg conf.Entry, out io.Writer) error {
-	lg, err := newLogger(out, cfg.LogLevel, string(cfg.Name), string(cfg.Zone))
+	lg, err := logs.New(out, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
 	if err != nil {
 		return err
 	}
@@ -67,7 +70,7 @@
 	if err := e.serve(&g); err != nil {
 		return err
 	}
-	e.recorder.Record(model.Event{Kind: model.EventStart, Detail: "entry"})
+	e.record(model.Event{Kind: model.EventStart, Detail: "entry"})
 	lg.Info("started", "callers", cfg.Listen.Callers, "upstreams", cfg.Listen.Upstreams)
 	err = g.Run()
 	e.client.Close()
@@ -120,7 +123,7 @@
 		return err
 	}
 	if d.To > e.poller.Version() {
-		e.recorder.Record(model.Event{Kind: model.EventTable, Version: d.To})
+		e.record(model.Event{Kind: model.EventTable, Version: d.To})
 	}
 	return nil
 }
@@ -167,9 +170,9 @@
 	if err != nil {
 		return err
 	}
-	adminListener, err := listen("admin", e.cfg.Listen.Admin)
+	adm, err := admin.New(e.admin())
 	if err != nil {
-		return err
+		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	e.addCallers(g, callers)
 	addServer(g, upstreams, peers.AnnounceHandler(e.announce), peerStop)
@@ -179,9 +182,9 @@
 	add(g, e.claimer)
 	add(g, e.link)
 	add(g, e.dispatch)
-	add(g, newForwarder(e.events, e.recorder.Record))
+	add(g, newForwarder(e.events, e.record))
 	addServer(g, peerListener, peers.Mux(nil, nil, e.neighbour(), e.timeline()), peerStop)
-	addServer(g, adminListener, e.admin(), peerStop)
+	add(g, adm)
 	add(g, e.recorder)
 	return nil
 }
@@ -192,7 +195,7 @@
 func (e *Entry) addCallers(g *run.Group, l net.Listener) {
 	s := front.NewServer(e.closing(e.front), e.cfg.Limits.MaxHeaderBytes)
 	g.Add(func() error { return s.Serve(l) }, func(error) {
-		e.recorder.Record(model.Event{Kind: model.EventStop})
+		e.record(model.Event{Kind: model.EventStop})
 		e.leaving.Store(true)
 		<-e.clock.After(lameDuck)
 		if err := s.Shutdown(e.cfg.Limits.DrainMillis); err != nil {
@@ -215,8 +218,12 @@
 func (e *Entry) neighbour() *peers.NeighbourServer {
 	return &peers.NeighbourServer{
 		TableAfter: e.tableAfter,
-		Hear:       e.hear,
-		Stamps:     e.recorder,
+		Hear: func(a model.Announcement) {
+			// A refused announcement was refused to the upstream itself as well, or
+			// was overtaken by a newer one.
+			_ = e.dispatch.Hear(member.Heard{Announcement: a})
+		},
+		Stamps: e.recorder,
 	}
 }
 
@@ -226,7 +233,57 @@
 	}}
 }
 
-// ready reports whether the balancer may send requests.
-func (e *Entry) ready(_ context.Context) bool {
-	return !e.leaving.Load() && e.poller.Version() > 0 && e.dispatch.Snapshot().Ready
+// notReady is the reason why the balancer should send no requests; empty when
+// it may.
+func (e *Entry) notReady() string {
+	switch {
+	case e.leaving.Load():
+		return "the process is stopping"
+	case e.poller.Version() == 0 || !e.dispatch.Snapshot().Ready:
+		return "the process has no confirmed table"
+	}
+	return ""
+}
+
+func (e *Entry) admin() admin.Config {
+	return admin.Config{
+		Address: e.cfg.Listen.Admin,
+		Labels:  []admin.Label{{Name: "process", Value: string(e.cfg.Name)}, {Name: "zone", Value: string(e.cfg.Zone)}},
+		Ready:   e.notReady, Events: e.recorder.Page, StopMillis: peerStop, Registry: e.metrics(),
+	}
+}
+
+// record adds an event to the time line and logs it when it is a change of
+// state.
+func (e *Entry) record(ev model.Event) {
+	e.recorder.Record(ev)
+	logs.Event(e.log, ev)
+}
+
+// metrics registers the counters that the parts keep.
+func (e *Entry) metrics() metrics.Registry {
+	r := metrics.NewRegistry()
+	counters(r, []counter{
+		{"requests-ran", func() int64 { return e.front.Counts().Ran }},
+		{"requests-not-run", func() int64 { return e.front.Counts().NotRun }},
+		{"requests-unknown", func() int64 { return e.front.Counts().Unknown }},
+		{"requests-duplicate", func() int64 { return e.front.Counts().Duplicate }},
+		{"requests-aborted", func() int64 { return e.front.Counts().Aborted }},
+		{"requests-retried", func() int64 { return e.front.Counts().Retries }},
+		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingFull }},
+		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
+		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
+		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
+		{"connections-opened", func() int64 { return e.link.Counts().Opened }},
+		{"connections-closed", func() int64 { return e.link.Counts().Closed }},
+		{"connections-silent", func() int64 { return e.link.Counts().Silent }},
+		{"responses-crossed", func() int64 { return e.link.Counts().Crossed }},
+		{"responses-without-end", func() int64 { return e.link.Counts().Framing }},
+		{"probes-failed", func() int64 { return e.link.Counts().ProbesFailed }},
+		{"claims-refused", e.claimer.Refused},
+		{"announcements-not-forwarded", e.roster.Refused},
+		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
+	})
+	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
+	return r
 }
--- /dev/null
+++ b/tests/request_test.go
@@ -0,0 +1,259 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/internal/stand"
+)
+
+// call sends one request and returns its status, outcome and body.
+func call(t *testing.T, entry, service string, header http.Header) (status int, outcome, body string, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+service+"/work", strings.NewReader("body"))
+	assert.NilError(t, err)
+	req.Header = header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	req.Header.Set("Camphorridge-Customer", "acme")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get("Camphorridge-Outcome"), string(b), err
+}
+
+// serving starts a system whose entry processes serve the pool merge.
+func serving(t *testing.T, l layout) *system {
+	t.Helper()
+	s := start(t, l)
+	s.contract("acme", 6, "merge")
+	s.ready()
+	for _, e := range s.entries {
+		s.wait(e.name+" to serve", func() bool {
+			status, _, _, err := call(t, e.callers, "merge", nil)
+			return err == nil && status == http.StatusOK
+		})
+	}
+	return s
+}
+
+func (s *system) runsOf(id string) int {
+	n := 0
+	for _, r := range s.record() {
+		if r.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+// TestResendToAnotherEntryRunsOnce guards against a second charge: the entry
+// process dies while the request runs, and the caller resends it elsewhere.
+func TestResendToAnotherEntryRunsOnce(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	for i, victim := range []string{"e1", "e4"} {
+		id := fmt.Sprintf("charge-%d", i)
+		h := http.Header{stand.IDHeader: {id}, "Idempotency-Key": {id}, stand.DelayHeader: {"1500"}}
+		done := make(chan error, 1)
+		go func() {
+			_, _, _, err := call(t, s.find(victim).callers, "merge", h)
+			done <- err
+		}()
+		s.wait("the request to run", func() bool { return s.runsOf(id) == 1 })
+		s.kill(victim)
+		assert.Assert(t, <-done != nil, "the caller must not get a whole answer")
+		for _, other := range []string{"e2", "e5", "e7"} {
+			status, outcome, _, err := call(t, s.find(other).callers, "merge", h)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusConflict)
+			assert.Equal(t, outcome, "duplicate")
+		}
+		assert.Equal(t, s.runsOf(id), 1)
+		s.run(s.find(victim))
+	}
+}
+
+// TestGracefulStop guards against a planned stop that cuts off requests: each
+// entry process and each control member is stopped under load in turn.
+func TestGracefulStop(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	var wg sync.WaitGroup
+	for _, name := range []string{"e1", "e5"} {
+		l := stand.Load{
+			Entries: []string{s.find(name).callers}, Service: "merge", Customer: "acme",
+			Requests: 400, Workers: 4, Timeout: 20 * time.Second, Prefix: name, Pause: 2 * time.Millisecond,
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		sums := make(chan stand.Summary, 1)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			sums <- l.Run(ctx)
+		}()
+		s.wait("the load to run", func() bool { return s.runsWith(name) > 50 })
+		assert.Equal(t, s.stop(name), 0)
+		cancel()
+		sum := <-sums
+		finished := map[string]bool{}
+		for _, a := range sum.Answers {
+			if a.Err == nil && a.Status == http.StatusOK {
+				finished[a.ID] = true
+			}
+		}
+		for _, r := range s.record() {
+			if strings.HasPrefix(r.ID, name) && r.Finished {
+				assert.Assert(t, finished[r.ID], "request %s ran and its answer was cut off", r.ID)
+			}
+		}
+		s.run(s.find(name))
+	}
+	for _, c := range s.controls {
+		assert.Equal(t, s.stop(c.name), 0)
+		s.run(c)
+		s.must("status")
+	}
+	wg.Wait()
+}
+
+func (s *system) runsWith(prefix string) int {
+	n := 0
+	for _, r := range s.record() {
+		if strings.HasPrefix(r.ID, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLeavingUpstreamGetsNoNewWork guards against requests that reach an
+// upstream seconds after it announced that it leaves, through any entry.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	u := s.platform["za"].Upstream("za-i00")
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, e := range s.callerAddrs("za") {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _, _, _ = call(t, e, "merge", nil)
+				}
+			}
+		}()
+	}
+	s.wait("requests on the upstream", func() bool { return len(u.Record()) > 20 })
+	u.Leave()
+	time.Sleep(3 * time.Second)
+	before := len(u.Record())
+	time.Sleep(2 * time.Second)
+	after := len(u.Record())
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, after, before)
+}
+
+// TestSlotsHoldOverAllEntries guards against entry processes that together
+// send an upstream more than its slots.
+func TestSlotsHoldOverAllEntries(t *testing.T) {
+	l := threeZones("merge", "merge")
+	l.delay = 20 * time.Millisecond
+	s := serving(t, l)
+	load := stand.Load{
+		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme",
+		Requests: 3000, Workers: 200, Timeout: 20 * time.Second, Prefix: "flood",
+	}
+	sum := load.Run(context.Background())
+	ran := 0
+	for _, a := range sum.Answers {
+		assert.NilError(t, a.Err)
+		switch a.Outcome {
+		case "ran":
+			ran++
+		case "not-run":
+			assert.Equal(t, s.runsOf(a.ID), 0, "request %s was refused and ran", a.ID)
+		default:
+			t.Fatalf("request %s ended with outcome %q", a.ID, a.Outcome)
+		}
+	}
+	assert.Assert(t, ran > 0)
+	for zone, f := range s.platform {
+		for i := range l.upstreams[zone] {
+			u := f.Upstream(fmt.Sprintf("%s-i%02d", zone, i))
+			assert.Assert(t, u.MaxRunning() <= 8, "%s ran %d requests at once", u.Instance, u.MaxRunning())
+		}
+	}
+}
+
+// TestFaultyUpstreams guards against answers that look complete and are not,
+// and against "not run" for a request that ran: the upstream cuts, hangs,
+// closes, refuses and answers without an end.
+func TestFaultyUpstreams(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	tests := []struct {
+		fault, outcome string
+		status, runs   int
+	}{
+		{stand.FaultCut, "unknown", http.StatusBadGateway, 1},
+		{stand.FaultClose, "unknown", http.StatusBadGateway, 1},
+		{stand.FaultHang, "unknown", http.StatusGatewayTimeout, 1},
+		{stand.FaultNoLength, "unknown", http.StatusBadGateway, 1},
+		{stand.FaultNotRun, "not-run", http.StatusServiceUnavailable, 0},
+		{stand.FaultFail, "ran", http.StatusInternalServerError, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.fault, func(t *testing.T) {
+			id := "fault-" + tt.fault
+			status, outcome, _, err := call(t, s.find("e2").callers, "merge", http.Header{
+				stand.IDHeader: {id}, stand.FaultHeader: {tt.fault}, "Camphorridge-Timeout-Ms": {"2000"},
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, outcome, tt.outcome)
+			assert.Equal(t, status, tt.status)
+			assert.Equal(t, s.runsOf(id), tt.runs)
+		})
+	}
+}
+
+// TestFrozenEntryWakesUp guards against an entry process that serves by an
+// old table after it was frozen: a contract is removed meanwhile.
+func TestFrozenEntryWakesUp(t *testing.T) {
+	s := serving(t, threeZones("merge"))
+	s.signal("e3", syscall.SIGSTOP)
+	s.must("contract", "remove", "acme", "--author", "test")
+	s.wait("e1 to drop the contract", func() bool {
+		status, _, _, err := call(t, s.find("e1").callers, "merge", nil)
+		return err == nil && status == http.StatusNotFound
+	})
+	time.Sleep(2 * time.Second)
+	s.signal("e3", syscall.SIGCONT)
+	s.wait("e3 to drop the contract", func() bool {
+		status, _, _, err := call(t, s.find("e3").callers, "merge", nil)
+		return err == nil && status == http.StatusNotFound
+	})
+	ran := len(s.record())
+	status, _, _, err := call(t, s.find("e3").callers, "merge", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusNotFound)
+	assert.Equal(t, len(s.record()), ran)
+}
