Measure goodput and fairness; start only what can end in time

The test of pauses failed twice: the dispatcher handled messages under a clock reading that was older than they were.

Change: admission keeps the spread of run times beside the typical one and leaves a margin; a passed deadline below twice the typical run time is not counted against the upstream; the clock is read after the messages are taken. TestOverloadIsTruthful compares outcomes with arrivals while deadlines pass.

--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -7,6 +7,10 @@
 	"camphorridge/core/state/route"
 )
 
+// impatient is the multiple of the typical run time below which a passed
+// deadline is put down to the caller.
+const impatient = 2
+
 // admit grants, queues or refuses an ask.
 func (d *Dispatcher[P, Q]) admit(now clock.Millis, a *ask) {
 	d.counts.Asks++
@@ -132,8 +136,15 @@
 	d.flights[at].line, d.flights[at].held = nil, route.Held{}
 	d.free = append(d.free, at)
 	elapsed := m.elapsed
-	if m.outcome == OutcomeCancelled || m.outcome == OutcomeConnect || m.outcome == OutcomeBusy {
+	switch m.outcome {
+	case OutcomeCancelled, OutcomeConnect, OutcomeBusy:
 		elapsed = -1
+	case OutcomeTimeout:
+		if typical := d.gate.Typical(f.line.Pool); elapsed < impatient*typical {
+			// The deadline was short; that is not the upstream's failure, and
+			// the run time remains unknown.
+			m.outcome, elapsed = OutcomeCancelled, -1
+		}
 	}
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -131,9 +131,10 @@
 	for {
 		select {
 		case m := <-d.in.C():
+			buf = d.in.Drain(append(buf[:0], m), batch)
+			// The clock is read after the messages were taken, so that none is
+			// handled under a time before it was sent.
 			now := d.observe()
-			d.handle(now, m)
-			buf = d.in.Drain(buf[:0], batch)
 			for i := range buf {
 				d.handle(now, buf[i])
 				buf[i] = message{}
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -124,6 +124,7 @@
 	OutcomeOK        = route.OutcomeOK
 	OutcomeError     = route.OutcomeError
 	OutcomeUnknown   = route.OutcomeUnknown
+	OutcomeTimeout   = route.OutcomeTimeout
 	OutcomeConnect   = route.OutcomeConnect
 	OutcomeBusy      = route.OutcomeBusy
 	OutcomeCancelled = route.OutcomeCancelled
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"math"
+
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 )
@@ -38,8 +40,18 @@
 	return reasonNames[r]
 }
 
-// smoothing is the weight of a new sample in the typical run time.
-const smoothing = 0.1
+const (
+	// smoothing is the weight of a new sample in the typical run time and its
+	// spread.
+	smoothing = 0.1
+	// margin is the number of spreads above the typical run time that a
+	// request must have left when it starts. At 0 half of the requests that
+	// start at the last moment run in vain.
+	margin = 2
+	// waitMargin is the part by which a wait may be longer than estimated; the
+	// estimate leaves out the time between two requests on a slot.
+	waitMargin = 0.125
+)
 
 // Gate decides who runs. R is the caller's reference for a waiting request.
 // It is not safe for use by several goroutines.
@@ -80,8 +92,13 @@
 	pass float64
 	// typical is the smoothed run time in milliseconds; 0 without a sample.
 	typical float64
+	// spread is the smoothed distance of run times from typical.
+	spread float64
 }
 
+// needs is the time that a request should have left when it starts.
+func (h *hall[R]) needs() clock.Millis { return clock.Millis(h.typical + margin*h.spread) }
+
 // New returns a gate without customers.
 func New[P Picker, R any](picker P) *Gate[P, R] {
 	return &Gate[P, R]{
@@ -199,7 +216,9 @@
 		h.typical = float64(elapsed)
 		return
 	}
-	h.typical += smoothing * (float64(elapsed) - h.typical)
+	off := float64(elapsed) - h.typical
+	h.typical += smoothing * off
+	h.spread += smoothing * (math.Abs(off) - h.spread)
 }
 
 // Typical is the smoothed run time of a pool; 0 when it is not known.
@@ -217,7 +236,9 @@
 	if l.Account.Waiting >= l.Account.Limit.Queue {
 		return nil, ReasonQueue
 	}
-	if now+l.Wait(slots)+clock.Millis(l.hall.typical) >= deadline {
+	wait := l.Wait(slots)
+	wait += clock.Millis(float64(wait) * waitMargin)
+	if now+wait+l.hall.needs() >= deadline {
 		return nil, ReasonDeadline
 	}
 	g.arrivals++
@@ -248,7 +269,7 @@
 	if h == nil {
 		return nil, late
 	}
-	late = h.dropLate(now, now+clock.Millis(h.typical), late)
+	late = h.dropLate(now+h.needs(), late)
 	g.turns, g.lines = g.turns[:0], g.lines[:0]
 	for _, l := range h.active {
 		if l.CanRun() {
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -132,10 +132,9 @@
 }
 
 // dropLate removes the waiters at the heads of the lines that cannot end in
-// time: their deadline is at or before end, the time at which a typical
-// request that starts now ends.
-func (h *hall[R]) dropLate(now, end clock.Millis, late []R) []R {
-	end = max(end, now)
+// time: their deadline is at or before end, the time at which a request that
+// starts now has ended most likely.
+func (h *hall[R]) dropLate(end clock.Millis, late []R) []R {
 	for i := len(h.active) - 1; i >= 0; i-- {
 		l := h.active[i]
 		for l.first != nil && l.first.Deadline <= end {
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -42,7 +42,7 @@
 		return false
 	case OutcomeConnect:
 		u.Score += connectWeight * (1 - u.Score)
-	case OutcomeError, OutcomeUnknown:
+	case OutcomeError, OutcomeUnknown, OutcomeTimeout:
 		u.Score += failWeight * (1 - u.Score)
 	}
 	if u.Score <= ejectAbove || u.Ejected(now) {
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -16,6 +16,8 @@
 	OutcomeError
 	// OutcomeUnknown: bytes were written and no whole response came back.
 	OutcomeUnknown
+	// OutcomeTimeout: bytes were written and the deadline passed.
+	OutcomeTimeout
 	// OutcomeConnect: no connection could be opened or used.
 	OutcomeConnect
 	// OutcomeBusy: the upstream answered that it did not run the request.
--- /dev/null
+++ b/io/trans/front/load_test.go
@@ -0,0 +1,158 @@
+package front
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"camphorridge/core/state/model"
+)
+
+const (
+	// service is the run time of a request on the upstreams of the load
+	// benchmarks, which have loadSlots slots each.
+	service   = 20 * time.Millisecond
+	loadSlots = 8
+	loadPool  = 4
+	// capacity is what the slots can run in a second.
+	capacity = float64(loadPool*loadSlots) / 0.020
+)
+
+// load is the upstreams and the sum of what they saw.
+type load struct {
+	arrived, over atomic.Int64
+}
+
+func (l *load) start(b testing.TB) []string {
+	var out []string
+	for range loadPool {
+		var busy atomic.Int64
+		out = append(out, upstream(b, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/health" {
+				return
+			}
+			l.arrived.Add(1)
+			if busy.Add(1) > loadSlots {
+				l.over.Add(1)
+			}
+			time.Sleep(service)
+			busy.Add(-1)
+			w.WriteHeader(http.StatusOK)
+		}))
+	}
+	return out
+}
+
+// result is what one customer got in a run.
+type result struct {
+	sent, ran, notRun, other int
+	// refusals are the times to a refusal, in ascending order.
+	refusals []time.Duration
+}
+
+// offer sends requests at a rate for a time, from as many connections as
+// needed to keep it up when each request takes up to the timeout.
+func offer(b testing.TB, g *rig, customer string, rate float64, timeout string, d time.Duration) *result {
+	n := int(rate/4) + 1
+	var mu sync.Mutex
+	r := &result{}
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for k := range n {
+		c := dialCaller(b, g.url[len("http://"):], HeaderCustomer+": "+customer+"\r\n"+HeaderTimeout+": "+timeout+"\r\n")
+		wg.Go(func() {
+			every := time.Duration(float64(n) / rate * 1e9)
+			time.Sleep(every * time.Duration(k) / time.Duration(n))
+			tick := time.NewTicker(every)
+			defer tick.Stop()
+			mine := result{}
+			for time.Now().Before(end) {
+				begun := time.Now()
+				outcome, err := c.call()
+				mine.sent++
+				switch {
+				case err != nil:
+					b.Error(err)
+					return
+				case outcome == OutcomeRan:
+					mine.ran++
+				case outcome == OutcomeNotRun:
+					mine.notRun++
+					mine.refusals = append(mine.refusals, time.Since(begun))
+				default:
+					mine.other++
+				}
+				<-tick.C
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			r.sent += mine.sent
+			r.ran += mine.ran
+			r.notRun += mine.notRun
+			r.other += mine.other
+			r.refusals = append(r.refusals, mine.refusals...)
+		})
+	}
+	wg.Wait()
+	slices.Sort(r.refusals)
+	return r
+}
+
+func quantile(v []time.Duration, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	return float64(v[int(q*float64(len(v)-1))].Microseconds()) / 1000
+}
+
+// BenchmarkGoodput offers 1, 2 and 5 times what the slots can run, for 3 s
+// each, with a timeout of 200 ms.
+func BenchmarkGoodput(b *testing.B) {
+	for _, times := range []struct {
+		name string
+		by   float64
+	}{{"1x", 1}, {"2x", 2}, {"5x", 5}} {
+		b.Run(times.name, func(b *testing.B) {
+			l := &load{}
+			g := newRig(b, loadSlots, []model.Contract{contract("acme", 1000, 400, 10)}, l.start(b)...)
+			offer(b, g, "acme", capacity, "200", time.Second)
+			b.ResetTimer()
+			for range b.N {
+				l.arrived.Store(0)
+				r := offer(b, g, "acme", capacity*times.by, "200", 3*time.Second)
+				b.ReportMetric(float64(r.ran)/(capacity*3), "goodput/capacity")
+				b.ReportMetric(float64(r.sent)/(capacity*3), "offered/capacity")
+				b.ReportMetric(float64(r.other), "unknown")
+				b.ReportMetric(float64(l.arrived.Load()-int64(r.ran+r.other)), "untrue")
+				b.Logf("%+v %+v", g.gate.Snapshot().Counts, g.link.Counts())
+				b.ReportMetric(float64(g.gate.Snapshot().Counts.Ejections), "ejections")
+				b.ReportMetric(float64(l.over.Load()), "over-slots")
+				b.ReportMetric(quantile(r.refusals, 0.5), "refusal-p50-ms")
+				b.ReportMetric(quantile(r.refusals, 0.99), "refusal-p99-ms")
+			}
+		})
+	}
+}
+
+// BenchmarkFlood offers 0.45 of the capacity for one customer, while another
+// with an equal contract floods the pool with 5 times the capacity.
+func BenchmarkFlood(b *testing.B) {
+	l := &load{}
+	contracts := []model.Contract{contract("calm", 100, 400, 10), contract("flood", 100, 400, 10)}
+	g := newRig(b, loadSlots, contracts, l.start(b)...)
+	offer(b, g, "calm", capacity/2, "200", time.Second)
+	b.ResetTimer()
+	for range b.N {
+		var calm, flood *result
+		var wg sync.WaitGroup
+		wg.Go(func() { calm = offer(b, g, "calm", capacity*0.45, "200", 3*time.Second) })
+		wg.Go(func() { flood = offer(b, g, "flood", capacity*5, "200", 3*time.Second) })
+		wg.Wait()
+		b.ReportMetric(float64(calm.ran)/float64(calm.sent), "calm-ran")
+		b.ReportMetric(float64(calm.ran+flood.ran)/(capacity*3), "goodput/capacity")
+		b.ReportMetric(float64(flood.ran)/float64(flood.sent), "flood-ran")
+	}
+}
--- /dev/null
+++ b/io/trans/front/outcome_test.go
@@ -0,0 +1,329 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"camphorridge/core/coord/entry"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const large = 300 << 10
+
+// Guards against outcomes that do not say what happened. The upstream's count
+// of arrivals is the judge.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answer  string
+		status  int
+		outcome string
+	}{
+		{"whole", "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nhi", 201, OutcomeRan},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200, OutcomeRan},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 500, OutcomeRan},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", 204, OutcomeRan},
+		{"refused", "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy", 503, OutcomeNotRun},
+		{"claims to have run", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Outcome: duplicate\r\n\r\n", 200, OutcomeRan},
+		{"closed", "", 502, OutcomeUnknown},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nhi", 502, OutcomeUnknown},
+		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", 502, OutcomeUnknown},
+		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi", 502, OutcomeUnknown},
+		{"crossed", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: x\r\n\r\n", 502, OutcomeUnknown},
+		{"silent", "silent", 504, OutcomeUnknown},
+	} {
+		hang := make(chan struct{})
+		u := newRaw(t, func(conn net.Conn, _ *http.Request) bool {
+			if c.answer == "silent" {
+				<-hang
+				return false
+			}
+			return send(conn, c.answer) && c.outcome != OutcomeUnknown
+		})
+		g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+		for _, key := range []string{"", "k1"} {
+			r := g.request(t, "POST", "acme", "x", "X-Mark", "m"+key, HeaderTimeout, "5000")
+			if c.answer == "silent" {
+				r.Header.Set(HeaderTimeout, "100")
+			}
+			if key != "" {
+				r.Header.Set(HeaderKey, key)
+			}
+			resp, _ := g.do(t, r)
+			assert.Equal(t, resp.StatusCode, c.status, c.name)
+			assert.Equal(t, resp.Header.Get(HeaderOutcome), c.outcome, c.name)
+			assert.Equal(t, u.count("m"+key), 1, c.name)
+			assert.Assert(t, resp.Header.Get(HeaderRequestID) != "", c.name)
+		}
+		held, kept := g.claims.get("k1")
+		switch c.outcome {
+		case OutcomeRan:
+			assert.Assert(t, held.State == model.ClaimDone && held.Status == c.status, c.name)
+		case OutcomeNotRun:
+			assert.Assert(t, !kept, "%s: the claim was not released", c.name)
+		default:
+			assert.Equal(t, held.State, model.ClaimUnknown, c.name)
+		}
+		close(hang)
+		g.idle(t)
+	}
+}
+
+func (c *claims) get(key string) (model.ClaimOutcome, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o, ok := c.held[model.ClaimKey{Customer: "acme", Service: "svc", Key: key}]
+	return o, ok
+}
+
+// idle waits until no request holds a slot.
+func (g *rig) idle(t testing.TB) entry.Status {
+	t.Helper()
+	var s entry.Status
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s = g.gate.Snapshot(); s.Counts.Dones == s.Counts.Grants {
+			return poll.Success()
+		}
+		return poll.Continue("%d of %d grants are back", s.Counts.Dones, s.Counts.Grants)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+	return s
+}
+
+// Guards against requests that should be refused being sent, and against
+// refusals without an outcome.
+func TestRefusedRequests(t *testing.T) {
+	u := newRaw(t, func(c net.Conn, _ *http.Request) bool {
+		return send(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	for _, c := range []struct {
+		name   string
+		change func(r *http.Request)
+		status int
+	}{
+		{"no customer", func(r *http.Request) { r.Header.Del(HeaderCustomer) }, 400},
+		{"two customers", func(r *http.Request) { r.Header.Add(HeaderCustomer, "b") }, 400},
+		{"bad customer", func(r *http.Request) { r.Header.Set(HeaderCustomer, "A B") }, 400},
+		{"other customer", func(r *http.Request) { r.Header.Set(HeaderCustomer, "other") }, 404},
+		{"other service", func(r *http.Request) { r.URL.Path = "/nope/x" }, 404},
+		{"no service", func(r *http.Request) { r.URL.Path = "/svc" }, 400},
+		{"bad service", func(r *http.Request) { r.URL.Path = "/../x" }, 400},
+		{"bad timeout", func(r *http.Request) { r.Header.Set(HeaderTimeout, "-1") }, 400},
+		{"zero timeout", func(r *http.Request) { r.Header.Set(HeaderTimeout, "0") }, 400},
+		{"empty key", func(r *http.Request) { r.Header.Set(HeaderKey, "") }, 400},
+		{"long key", func(r *http.Request) { r.Header.Set(HeaderKey, strings.Repeat("k", 256)) }, 400},
+		{"large header", func(r *http.Request) { r.Header.Set("X-Large", strings.Repeat("h", 33<<10)) }, 431},
+		{"large body", func(r *http.Request) { r.ContentLength, r.Body = 65<<20, io.NopCloser(bytes.NewReader(nil)) }, 413},
+	} {
+		r := g.request(t, "POST", "acme", "", "X-Mark", "m")
+		c.change(r)
+		resp, err := g.client.Do(r)
+		if err != nil && c.name == "large body" {
+			// The server may close before the client has written its body.
+			continue
+		}
+		assert.NilError(t, err, c.name)
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, c.status, c.name)
+		assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun, c.name)
+		assert.Assert(t, resp.Header.Get(HeaderReason) != "", c.name)
+	}
+	assert.Equal(t, u.count("m"), 0)
+}
+
+// Guards against conflicting lengths, which let one request hide in another.
+func TestConflictingLengthsAreRefused(t *testing.T) {
+	u := newRaw(t, func(c net.Conn, _ *http.Request) bool {
+		return send(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	for _, head := range []string{
+		"Content-Length: 3\r\nContent-Length: 4\r\n",
+		"Content-Length: x\r\n",
+		"Transfer-Encoding: gzip, chunked\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		c, err := net.Dial("tcp", g.url[len("http://"):])
+		assert.NilError(t, err)
+		assert.Assert(t, send(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: m\r\nCamphorridge-Customer: acme\r\n"+head+"\r\nabc"))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.Assert(t, resp.StatusCode == 400 || resp.StatusCode == 501, "%d", resp.StatusCode)
+		_ = c.Close()
+	}
+	// With both, the chunks count (RFC 9112, 6.3); the length is not passed on.
+	c, err := net.Dial("tcp", g.url[len("http://"):])
+	assert.NilError(t, err)
+	assert.Assert(t, send(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: both\r\nCamphorridge-Customer: acme\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	_, err = http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = c.Close()
+	assert.Equal(t, u.count("m"), 0)
+}
+
+// Guards against a truncated answer that looks whole, also beyond the buffer.
+func TestLargeTruncatedAnswerAborts(t *testing.T) {
+	body := strings.Repeat("x", large)
+	u := newRaw(t, func(c net.Conn, r *http.Request) bool {
+		cut := body
+		if r.URL.Path == "/svc/cut" {
+			cut = body[:large-1]
+		}
+		return send(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, cut)) && cut == body
+	})
+	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	_, got := g.do(t, g.request(t, "GET", "acme", ""))
+	assert.Assert(t, got == body)
+	r := g.request(t, "POST", "acme", "x", HeaderKey, "k1")
+	r.URL.Path = "/svc/cut"
+	resp, err := g.client.Do(r)
+	assert.NilError(t, err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes, %v", n, err)
+	g.idle(t)
+	assert.Equal(t, g.front.Counts().Aborted, int64(1))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if o, _ := g.claims.get("k1"); o.State == model.ClaimUnknown {
+			return poll.Success()
+		}
+		return poll.Continue("the claim is open")
+	})
+}
+
+// Guards against running a keyed request twice.
+func TestDuplicates(t *testing.T) {
+	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
+	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderKey, "k1"))
+	assert.Equal(t, first.Header.Get(HeaderOutcome), OutcomeRan)
+	second, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderKey, "k1"))
+	assert.Equal(t, second.StatusCode, 409)
+	assert.Equal(t, second.Header.Get(HeaderOutcome), OutcomeDuplicate)
+	assert.Equal(t, second.Header.Get(HeaderFirstOutcome), "done 200")
+	get, _ := g.do(t, g.request(t, "GET", "acme", "", HeaderKey, "k1"))
+	assert.Equal(t, get.Header.Get(HeaderOutcome), OutcomeRan)
+	g.claims.mu.Lock()
+	g.claims.err = errors.New("no quorum")
+	g.claims.mu.Unlock()
+	cut, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderKey, "k2"))
+	assert.Equal(t, cut.StatusCode, 503)
+	assert.Equal(t, cut.Header.Get(HeaderOutcome), OutcomeNotRun)
+}
+
+// Guards against retries that are not made though nothing ran, that go beyond
+// the budget, or that alter the body.
+func TestRetryAfterProvenNotRun(t *testing.T) {
+	busy := newRaw(t, func(c net.Conn, _ *http.Request) bool {
+		return send(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
+	})
+	g := newRig(t, 8, []model.Contract{contract("acme", 64, 8, 50)}, busy.address, upstream(t, echo), "127.0.0.1:1")
+	big := strings.Repeat("b", 60<<10)
+	ran, refused := 0, 0
+	for range 40 {
+		resp, body := g.do(t, g.request(t, "POST", "acme", big))
+		switch resp.Header.Get(HeaderOutcome) {
+		case OutcomeRan:
+			ran++
+			assert.Assert(t, body == "POST /svc/x "+big)
+		case OutcomeNotRun:
+			refused++
+		}
+	}
+	assert.Equal(t, ran+refused, 40)
+	s := g.idle(t)
+	assert.Assert(t, s.Counts.Retries > 0 && s.Counts.Retries <= 21, "%d retries", s.Counts.Retries)
+	assert.Equal(t, g.front.Counts().Retries >= s.Counts.Retries, true)
+}
+
+// Guards against a caller that left still holding a slot.
+func TestCallerDisconnects(t *testing.T) {
+	got, hang := make(chan struct{}, 1), make(chan struct{})
+	defer close(hang)
+	u := newRaw(t, func(net.Conn, *http.Request) bool { got <- struct{}{}; <-hang; return false })
+	g := newRig(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, u.address)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() {
+		_, err := g.client.Do(g.request(t, "POST", "acme", "x").WithContext(ctx))
+		ended <- err
+	}()
+	<-got
+	cancel()
+	assert.Assert(t, <-ended != nil)
+	s := g.idle(t)
+	assert.Equal(t, s.Customers[0].Running, 0)
+	assert.Equal(t, s.Upstreams[0].Score, 0.0)
+}
+
+// Guards against callers that send slowly and hold a slot or a goroutine.
+func TestSlowBodyIsCutOff(t *testing.T) {
+	g := newRig(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
+	g.front.cfg.Body = 50
+	c, err := net.Dial("tcp", g.url[len("http://"):])
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	assert.Assert(t, send(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nCamphorridge-Customer: acme\r\nContent-Length: 9\r\n\r\nabc"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 400)
+	assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+	assert.Equal(t, g.gate.Snapshot().Counts.Asks, int64(0))
+}
+
+// Guards against a stop that cuts requests in flight, and against one that
+// waits for ever.
+func TestShutdownFinishesRequests(t *testing.T) {
+	release, got := make(chan struct{}), make(chan struct{}, 2)
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		got <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	for _, finish := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s := NewServer(h, 1<<10)
+		served, answered := make(chan error, 1), make(chan error, 1)
+		go func() { served <- s.Serve(l) }()
+		go func() {
+			resp, err := http.Get("http://" + l.Addr().String())
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+			}
+			answered <- err
+		}()
+		<-got
+		stopped := make(chan error, 1)
+		bound := 20 * clock.Millis(1)
+		if finish {
+			bound = 30 * clock.Second
+		}
+		go func() { stopped <- s.Shutdown(bound) }()
+		assert.NilError(t, <-served)
+		_, err = net.Dial("tcp", l.Addr().String())
+		assert.Assert(t, err != nil, "it still accepts")
+		if finish {
+			release <- struct{}{}
+			assert.NilError(t, <-answered)
+			assert.NilError(t, <-stopped)
+			continue
+		}
+		var e *Error
+		assert.Assert(t, errors.As(<-stopped, &e) && e.Kind == KindServe)
+		assert.Assert(t, <-answered != nil)
+		release <- struct{}{}
+	}
+}
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -59,8 +59,9 @@
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		body.detach()
-		end(entry.OutcomeUnknown)
-		f.unknown(x, kindOf(err))
+		kind := kindOf(err)
+		end(outcomeOf(x.ctx, uplink.Result{Kind: kind}))
+		f.unknown(x, kind)
 		return tried{}
 	}
 	if err == nil {
@@ -160,6 +161,8 @@
 		return entry.OutcomeBusy
 	case res.NotRun:
 		return entry.OutcomeConnect
+	case res.Kind == uplink.KindSilent:
+		return entry.OutcomeTimeout
 	}
 	return entry.OutcomeUnknown
 }
--- /dev/null
+++ b/io/trans/front/truth_test.go
@@ -0,0 +1,63 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"camphorridge/core/state/model"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a not-run for a request that reached an upstream, and against
+// one that reached it twice, while deadlines pass in every phase.
+func TestOverloadIsTruthful(t *testing.T) {
+	var mu sync.Mutex
+	arrived := map[string]int{}
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		arrived[r.Header.Get("X-Mark")]++
+		mu.Unlock()
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(5 * time.Millisecond)
+	}
+	g := newRig(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
+	outcomes := map[string]string{}
+	var wg sync.WaitGroup
+	for w := range 32 {
+		wg.Go(func() {
+			for k := range 60 {
+				mark := fmt.Sprint(w, ".", k)
+				r := g.request(t, "POST", "acme", "hello", "X-Mark", mark, HeaderTimeout, fmt.Sprint(1+(w*k)%60))
+				resp, err := g.client.Do(r)
+				if !assert.Check(t, err) {
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				mu.Lock()
+				outcomes[mark] = resp.Header.Get(HeaderOutcome) + ": " + resp.Header.Get(HeaderReason)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	g.idle(t)
+	mu.Lock()
+	defer mu.Unlock()
+	for mark, o := range outcomes {
+		want := arrived[mark]
+		switch o[:3] {
+		case "ran":
+			assert.Check(t, want == 1, "%s: %s, arrived %d times", mark, o, want)
+		case "not":
+			assert.Check(t, want == 0, "%s: %s, arrived %d times", mark, o, want)
+		default:
+			assert.Check(t, want <= 1, "%s: %s, arrived %d times", mark, o, want)
+		}
+	}
+}
