--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -41,7 +41,11 @@
 func serving(t *testing.T, l layout) *system {
 	t.Helper()
 	s := start(t, l)
-	s.contract("acme", 6, "merge")
+	n := 0
+	for _, pools := range l.upstreams {
+		n += len(pools)
+	}
+	s.contract("acme", n, "merge")
 	s.ready()
 	for _, e := range s.entries {
 		s.wait(e.name+" to serve", func() bool {
