--- /dev/null
+++ b/core/state/store/disk_test.go
@@ -0,0 +1,226 @@
+package store_test
+
+import (
+	"io/fs"
+	"path/filepath"
+	"sort"
+	"syscall"
+
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/store"
+)
+
+// block is the unit in which the fake disk keeps or loses unsynced bytes.
+const block = 16
+
+// inode is a file: data is what a process reads, synced what survives a crash
+// for certain, dirty the blocks that the next sync writes.
+type inode struct {
+	data, synced []byte
+	dirty        map[int]bool
+}
+
+// memDisk is a file system in memory. It fails on demand and forgets unsynced
+// bytes and names in a crash, each block and each name by itself.
+type memDisk struct {
+	names, durable map[string]*inode
+	locked         bool
+	// countdown is the number of operations up to the one that fails; 0 for
+	// none. After a power cut every later operation fails as well.
+	countdown int
+	powerCut  bool
+	failure   error
+}
+
+func newDisk() *memDisk {
+	return &memDisk{names: map[string]*inode{}, durable: map[string]*inode{}}
+}
+
+// fails reports the failure of an operation that changes something.
+func (d *memDisk) fails() error {
+	if d.countdown == 0 {
+		return nil
+	}
+	if d.countdown > 1 {
+		d.countdown--
+		return nil
+	}
+	if !d.powerCut {
+		d.countdown = 0
+	}
+	return d.failure
+}
+
+func (d *memDisk) MakeDir(string) error { return nil }
+
+func (d *memDisk) List(string) ([]string, error) {
+	var names []string
+	for path := range d.names {
+		names = append(names, filepath.Base(path))
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func (d *memDisk) Open(path string) (store.File, error) {
+	if err := d.fails(); err != nil {
+		return nil, err
+	}
+	if d.names[path] == nil {
+		d.names[path] = &inode{dirty: map[int]bool{}}
+	}
+	return &memFile{disk: d, node: d.names[path]}, nil
+}
+
+func (d *memDisk) ReadFile(path string) ([]byte, error) {
+	if n := d.names[path]; n != nil {
+		return append([]byte(nil), n.data...), nil
+	}
+	return nil, fs.ErrNotExist
+}
+
+func (d *memDisk) Size(path string) (int64, error) {
+	b, err := d.ReadFile(path)
+	return int64(len(b)), err
+}
+
+func (d *memDisk) Rename(from, to string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+func (d *memDisk) Remove(path string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	if d.names[path] == nil {
+		return fs.ErrNotExist
+	}
+	delete(d.names, path)
+	return nil
+}
+
+func (d *memDisk) SyncDir(string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	d.durable = map[string]*inode{}
+	for path, n := range d.names {
+		d.durable[path] = n
+	}
+	return nil
+}
+
+func (d *memDisk) Lock(string) (func() error, error) {
+	if d.locked {
+		return nil, syscall.EWOULDBLOCK
+	}
+	d.locked = true
+	return func() error { d.locked = false; return nil }, nil
+}
+
+// crash ends the process and, with lose set, the machine: each unsynced name
+// and block is kept or lost at random.
+func (d *memDisk) crash(t *rapid.T, lose bool) {
+	d.locked, d.powerCut, d.countdown = false, false, 0
+	if !lose {
+		return
+	}
+	coin := func() bool { return rapid.Bool().Draw(t, "kept") }
+	var paths []string
+	for path := range d.names {
+		paths = append(paths, path)
+	}
+	for path := range d.durable {
+		if d.names[path] == nil {
+			paths = append(paths, path)
+		}
+	}
+	sort.Strings(paths)
+	kept := map[string]*inode{}
+	for _, path := range paths {
+		before, now := d.durable[path], d.names[path]
+		if before != now && coin() {
+			before = now
+		}
+		if before != nil {
+			kept[path] = before
+		}
+	}
+	for _, path := range paths {
+		n := kept[path]
+		if n == nil {
+			continue
+		}
+		data := append([]byte(nil), n.synced...)
+		for b := 0; b*block < len(n.data); b++ {
+			if n.dirty[b] && coin() {
+				end := min((b+1)*block, len(n.data))
+				data = append(data, make([]byte, max(0, end-len(data)))...)
+				copy(data[b*block:end], n.data[b*block:end])
+			}
+		}
+		n.data, n.synced, n.dirty = data, append([]byte(nil), data...), map[int]bool{}
+	}
+	d.names, d.durable = kept, map[string]*inode{}
+	for path, n := range kept {
+		d.durable[path] = n
+	}
+}
+
+type memFile struct {
+	disk *memDisk
+	node *inode
+}
+
+// WriteAt writes half of the bytes when it fails, as on a full disk.
+func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
+	err := f.disk.fails()
+	if err != nil {
+		p = p[:len(p)/2]
+	}
+	n := f.node
+	n.data = append(n.data, make([]byte, max(0, int(off)+len(p)-len(n.data)))...)
+	copy(n.data[off:], p)
+	for b := int(off) / block; b*block < int(off)+len(p); b++ {
+		n.dirty[b] = true
+	}
+	return len(p), err
+}
+
+func (f *memFile) Truncate(size int64) error {
+	if err := f.disk.fails(); err != nil {
+		return err
+	}
+	f.node.data = f.node.data[:min(size, int64(len(f.node.data)))]
+	f.node.dirty[int(size)/block] = true
+	return nil
+}
+
+// Sync writes the dirty blocks. When it fails, they count as clean and stay
+// unwritten, as Linux treats them.
+func (f *memFile) Sync() error {
+	n := f.node
+	if err := f.disk.fails(); err != nil {
+		if !f.disk.powerCut {
+			n.dirty = map[int]bool{}
+		}
+		return err
+	}
+	synced := append([]byte(nil), n.synced[:min(len(n.synced), len(n.data))]...)
+	synced = append(synced, make([]byte, len(n.data)-len(synced))...)
+	for b := range n.dirty {
+		if lo := b * block; lo < len(n.data) {
+			copy(synced[lo:], n.data[lo:min(lo+block, len(n.data))])
+		}
+	}
+	n.synced, n.dirty = synced, map[int]bool{}
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
--- /dev/null
+++ b/core/state/store/open_test.go
@@ -0,0 +1,219 @@
+package store_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/raft"
+	"camphorridge/core/state/store"
+)
+
+// fill saves entries from..to one by one.
+func fill[S interface {
+	Save(*raft.HardState, []raft.Entry) error
+}](t *testing.T, s S, from, to uint64) {
+	for i := from; i <= to; i++ {
+		assert.NilError(t, s.Save(&raft.HardState{Term: 1, Vote: 2}, []raft.Entry{{Index: i, Term: 1, Data: []byte("0123456789")}}))
+	}
+}
+
+const (
+	first  = "log-00000000000000000001.seg"
+	second = "log-00000000000000000005.seg"
+	third  = "log-00000000000000000009.seg"
+	snap   = "snap-00000000000000000002.bin"
+)
+
+// TestOpenDamaged guards against a folder that is opened although data is
+// missing or changed, and against one that is refused although a crash alone
+// explains it. Each record has 28 bytes and each segment four records.
+func TestOpenDamaged(t *testing.T) {
+	flip := func(name string, at int) func(*testing.T, string) {
+		return func(t *testing.T, dir string) {
+			path := filepath.Join(dir, name)
+			b, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			b[at] ^= 1
+			assert.NilError(t, os.WriteFile(path, b, 0o600))
+		}
+	}
+	cut := func(name string, size int64) func(*testing.T, string) {
+		return func(t *testing.T, dir string) { assert.NilError(t, os.Truncate(filepath.Join(dir, name), size)) }
+	}
+	add := func(name, content string) func(*testing.T, string) {
+		return func(t *testing.T, dir string) {
+			f, err := os.OpenFile(filepath.Join(dir, name), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+			assert.NilError(t, err)
+			_, err = f.WriteString(content)
+			assert.NilError(t, err)
+			assert.NilError(t, f.Close())
+		}
+	}
+	remove := func(name string) func(*testing.T, string) {
+		return func(t *testing.T, dir string) { assert.NilError(t, os.Remove(filepath.Join(dir, name))) }
+	}
+	// lose removes entry 9 after it was recorded as committed.
+	lose := func(t *testing.T, dir string) {
+		s, err := open(dir, store.Disk{}, 100)
+		assert.NilError(t, err)
+		assert.NilError(t, s.Save(&raft.HardState{Term: 1, Vote: 2, Commit: 9}, nil))
+		assert.NilError(t, s.Close())
+		remove(third)(t, dir)
+	}
+	cases := []struct {
+		name   string
+		damage func(*testing.T, string)
+		// last is the last entry found; 0 when Open fails with kind and text.
+		last uint64
+		kind store.Kind
+		text string
+	}{
+		{"nothing", func(*testing.T, string) {}, 11, 0, ""},
+		{"torn length", cut(third, 2*28+3), 10, 0, ""},
+		{"torn payload", cut(third, 3*28-1), 10, 0, ""},
+		{"damaged last record", flip(third, 2*28+20), 10, 0, ""},
+		{"damaged last length", flip(third, 2*28+1), 10, 0, ""},
+		{"zeros after the end", add(third, string(make([]byte, 4096))), 11, 0, ""},
+		{"torn first record of the last segment", cut(third, 9), 8, 0, ""},
+		{"last segment empty", cut(third, 0), 8, 0, ""},
+		{"empty new segment", add("log-00000000000000000012.seg", ""), 11, 0, ""},
+		{"temporary file", add("meta.tmp", "part"), 11, 0, ""},
+		{"record before the tail", flip(third, 28+20), 0, store.KindCorrupt, third + ", offset 28"},
+		{"length before the tail", flip(third, 28), 0, store.KindCorrupt, third + ", offset 28"},
+		{"record of an earlier segment", flip(first, 3*28+20), 0, store.KindCorrupt, first + ", offset 84"},
+		{"end of an earlier segment", cut(second, 3*28+5), 0, store.KindCorrupt, second + ", offset 84"},
+		{"whole record of an earlier segment", cut(second, 3*28), 0, store.KindGap, third},
+		{"segment missing", remove(second), 0, store.KindGap, third},
+		{"segment empty", cut(second, 0), 0, store.KindGap, third},
+		{"first segment missing", remove(first), 0, store.KindGap, second},
+		{"committed entries missing", lose, 0, store.KindGap, "ends at entry 8, but 9"},
+		{"meta missing", remove("meta"), 0, store.KindNoMeta, "no meta file"},
+		{"meta damaged", flip("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
+		{"meta short", cut("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
+		{"snapshot damaged", flip(snap, 40), 0, store.KindCorrupt, snap},
+		{"snapshot short", cut(snap, 3), 0, store.KindCorrupt, snap},
+	}
+	origin := filepath.Join(t.TempDir(), "data")
+	s, err := open(origin, store.Disk{}, 100)
+	assert.NilError(t, err)
+	id, hard := s.Stored().Self.ID, raft.HardState{Term: 1, Vote: 2, Commit: 8}
+	fill(t, s, 1, 11)
+	assert.NilError(t, s.Snapshot(raft.SnapshotMeta{Index: 2, Term: 1, Members: members}, []byte("state")))
+	assert.NilError(t, s.Save(&hard, nil))
+	assert.NilError(t, s.Close())
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			dir := filepath.Join(t.TempDir(), "copy")
+			assert.NilError(t, os.CopyFS(dir, os.DirFS(origin)))
+			c.damage(t, dir)
+			s, err := open(dir, store.Disk{}, 100)
+			if c.last == 0 {
+				isKind(t, err, c.kind)
+				assert.ErrorContains(t, err, c.text)
+				return
+			}
+			assert.NilError(t, err)
+			got := s.Stored()
+			assert.Equal(t, got.Self.ID, id)
+			assert.Equal(t, got.Hard, hard)
+			assert.Equal(t, got.Entries[0].Index, uint64(3))
+			assert.Equal(t, got.Entries[len(got.Entries)-1].Index, c.last)
+			fill(t, s, c.last+1, c.last+1)
+			assert.NilError(t, s.Close())
+		})
+	}
+}
+
+// TestLock guards against two processes on one folder.
+func TestLock(t *testing.T) {
+	dir := t.TempDir()
+	s, err := open(dir, store.Disk{}, 0)
+	assert.NilError(t, err)
+	_, err = open(dir, store.Disk{}, 0)
+	isKind(t, err, store.KindLocked)
+	assert.NilError(t, s.Close())
+	isKind(t, s.Save(nil, nil), store.KindClosed)
+	s, err = open(dir, store.Disk{}, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+}
+
+// TestFailedSync guards against going on after a failed sync in a file whose
+// earlier records are no longer intact, and against bytes of the failed
+// record after the next one.
+func TestFailedSync(t *testing.T) {
+	disk := newDisk()
+	s, err := open("d", disk, 0)
+	assert.NilError(t, err)
+	fill(t, s, 1, 2)
+	long := []raft.Entry{{Index: 3, Term: 1, Data: make([]byte, 500)}}
+	disk.countdown, disk.failure = 2, syscall.ENOSPC
+	isKind(t, s.Save(nil, long), store.KindFull)
+	fill(t, s, 3, 3)
+	file := disk.names[filepath.Join("d", first)]
+	assert.Equal(t, len(file.data), 3*28)
+
+	disk.countdown, disk.failure = 2, syscall.EIO
+	isKind(t, s.Save(nil, []raft.Entry{{Index: 4, Term: 1}}), store.KindIO)
+	file.data[40] ^= 1
+	err = s.Save(nil, []raft.Entry{{Index: 4, Term: 1}})
+	isKind(t, err, store.KindCorrupt)
+	assert.ErrorContains(t, err, first+", offset 28")
+}
+
+// TestOrder guards against calls that would leave a gap, lower the term, or
+// replace committed entries.
+func TestOrder(t *testing.T) {
+	s, err := open("d", newDisk(), 0)
+	assert.NilError(t, err)
+	fill(t, s, 1, 4)
+	assert.NilError(t, s.Save(&raft.HardState{Term: 2, Commit: 3}, nil))
+	for _, batch := range [][]raft.Entry{{{Index: 6}}, {{Index: 3}}, {{Index: 4}, {Index: 6}}} {
+		isKind(t, s.Save(nil, batch), store.KindOrder)
+	}
+	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOrder)
+	isKind(t, s.Snapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOrder)
+	isKind(t, s.Install(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOrder)
+	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")))
+	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")), "a repeated call")
+	assert.NilError(t, s.Save(nil, []raft.Entry{{Index: 10, Term: 2}}))
+	meta, data, err := s.ReadSnapshot()
+	assert.NilError(t, err)
+	assert.Equal(t, meta.Index, uint64(9))
+	assert.Equal(t, string(data), "state")
+}
+
+// FuzzSegment guards against a panic, or an error of another type, on a
+// segment or snapshot with arbitrary content.
+func FuzzSegment(f *testing.F) {
+	disk := newDisk()
+	s, err := open("d", disk, 0)
+	assert.NilError(f, err)
+	assert.NilError(f, s.Save(nil, []raft.Entry{{Index: 1, Term: 1, Data: []byte("a")}, {Index: 2, Term: 1}}))
+	assert.NilError(f, s.Snapshot(raft.SnapshotMeta{Index: 1, Term: 1, Members: members}, []byte("state")))
+	seed := disk.names[filepath.Join("d", first)].data
+	snapshot := "snap-00000000000000000001.bin"
+	f.Add(seed, disk.names[filepath.Join("d", snapshot)].data)
+	f.Add(seed[:len(seed)-1], []byte("crsnap01"))
+	meta := disk.names[filepath.Join("d", "meta")]
+	f.Fuzz(func(t *testing.T, segment, snap []byte) {
+		disk := newDisk()
+		disk.names = map[string]*inode{
+			filepath.Join("d", "meta"):   meta,
+			filepath.Join("d", first):    {data: segment, dirty: map[int]bool{}},
+			filepath.Join("d", snapshot): {data: snap, dirty: map[int]bool{}},
+		}
+		s, err := open("d", disk, 0)
+		if err != nil {
+			var e *store.Error
+			assert.Assert(t, errors.As(err, &e), "%T", err)
+			return
+		}
+		assert.NilError(t, s.Close())
+	})
+}
--- /dev/null
+++ b/core/state/store/store_test.go
@@ -0,0 +1,200 @@
+package store_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/raft"
+	"camphorridge/core/state/store"
+	"camphorridge/io/proto/codec"
+)
+
+var members = []raft.Member{{ID: 7, Name: "c1", Zone: "z", Address: "127.0.0.1:1", Voter: true}}
+
+func open[F store.Files](dir string, files F, size int64) (*store.Store[codec.Codec, F], error) {
+	return store.Open(dir, store.Options[codec.Codec, F]{Files: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
+}
+
+// isKind fails when an error is not the package's own or of another kind.
+func isKind(t assert.TestingT, err error, kind store.Kind) {
+	var e *store.Error
+	assert.Assert(t, errors.As(err, &e), "%T %v", err, err)
+	assert.Equal(t, e.Kind, kind, "%v", err)
+}
+
+// run drives a store on a fake disk and knows what it must hold.
+type run struct {
+	disk  *memDisk
+	s     *store.Store[codec.Codec, *memDisk]
+	id    raft.MemberID
+	hard  raft.HardState
+	snap  raft.SnapshotMeta
+	log   []raft.Entry
+	count int
+	// abandoned is set after a Save that failed and is not repeated; the log
+	// is cut to what it must have kept.
+	abandoned bool
+}
+
+func (r *run) last() uint64 { return r.snap.Index + uint64(len(r.log)) }
+
+// step is one call: what it does and what the store holds after it.
+type step struct {
+	call func() error
+	hard raft.HardState
+	snap raft.SnapshotMeta
+	log  []raft.Entry
+	// keeps is the number of entries of the log before that a failed call
+	// must leave in place.
+	keeps int
+	// loose is set when the call before was abandoned: its entries and its
+	// vote may be stored too.
+	loose bool
+}
+
+func (r *run) draw(t *rapid.T) step {
+	out := step{hard: r.hard, snap: r.snap, log: r.log, keeps: len(r.log)}
+	kind := rapid.IntRange(0, 9).Draw(t, "call")
+	if r.abandoned {
+		kind = 2
+	}
+	term := max(r.hard.Term, r.snap.Term)
+	r.count++
+	data := []byte(strings.Repeat("x", rapid.IntRange(0, 60).Draw(t, "size")) + fmt.Sprint(r.count))
+	switch {
+	case kind == 0 && len(r.log) > 0:
+		k := rapid.IntRange(1, len(r.log)).Draw(t, "snapshot")
+		out.snap = raft.SnapshotMeta{Index: r.log[k-1].Index, Term: r.log[k-1].Term, Members: members}
+		out.log, out.keeps = r.log[k:], 0
+		out.call = func() error { return r.s.Snapshot(out.snap, data) }
+	case kind == 1:
+		// The snapshot's term is new, so that the log has no entry of it.
+		low := max(r.hard.Commit, r.snap.Index)
+		out.snap = raft.SnapshotMeta{Index: rapid.Uint64Range(low+1, r.last()+3).Draw(t, "index"), Term: term + 1, Members: members}
+		out.log, out.keeps = nil, 0
+		out.call = func() error { return r.s.Install(out.snap, data) }
+	default:
+		if kind < 5 || term > r.hard.Term {
+			out.hard.Term, out.hard.Vote = term+1, raft.MemberID(kind)
+		}
+		out.hard.Commit = max(r.hard.Commit, r.snap.Index)
+		out.keeps = rapid.IntRange(int(out.hard.Commit-r.snap.Index), len(r.log)).Draw(t, "from")
+		if kind%2 == 0 && !r.abandoned {
+			out.keeps = len(r.log)
+		}
+		var batch []raft.Entry
+		for n := range rapid.IntRange(1, 3).Draw(t, "entries") {
+			batch = append(batch, raft.Entry{Index: r.snap.Index + uint64(out.keeps+n+1), Term: out.hard.Term, Data: data})
+		}
+		out.log = append(append([]raft.Entry(nil), r.log[:out.keeps]...), batch...)
+		out.hard.Commit += uint64(rapid.IntRange(0, len(out.log)-int(out.hard.Commit-r.snap.Index)).Draw(t, "commit"))
+		out.call = func() error { return r.s.Save(&out.hard, batch) }
+	}
+	return out
+}
+
+// abandon gives a failed Save up, unless it would give up committed entries.
+func (s step) abandon(r *run) bool {
+	if s.snap.Index != r.snap.Index || s.hard.Commit > r.snap.Index+uint64(s.keeps) {
+		return false
+	}
+	r.log, r.abandoned, r.hard.Commit = r.log[:s.keeps], true, s.hard.Commit
+	return true
+}
+
+func (r *run) reopen(t *rapid.T) raft.Stored {
+	s, err := open("d", r.disk, 200)
+	assert.NilError(t, err)
+	r.s = s
+	got := s.Stored()
+	if r.id == 0 {
+		r.id = got.Self.ID
+	}
+	assert.Assert(t, r.id != 0 && got.Self.ID == r.id, "the identity changed")
+	meta, _, err := s.ReadSnapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, meta, got.Snapshot)
+	return got
+}
+
+// check compares the recovered state with the one before a call that failed
+// and the one after it; both are the same when no call failed.
+func (r *run) check(t *rapid.T, got raft.Stored, after step) {
+	same := func(a, b []raft.Entry) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
+	n := len(got.Entries)
+	if after.loose {
+		assert.Assert(t, n >= after.keeps && same(got.Entries[:after.keeps], r.log[:after.keeps]), "%v, expected at least %v", got.Entries, r.log)
+		r.snap, r.log, r.hard = got.Snapshot, got.Entries, got.Hard
+		return
+	}
+	if got.Snapshot.Index == after.snap.Index && after.snap.Index != r.snap.Index {
+		// An interrupted Install may leave entries; they follow the snapshot.
+		assert.Assert(t, same(got.Entries, after.log), "%v, expected %v", got.Entries, after.log)
+	} else {
+		assert.Equal(t, got.Snapshot.Index, r.snap.Index)
+		whole := same(got.Entries, after.log) && after.snap.Index == r.snap.Index
+		part := n >= after.keeps && n <= len(r.log) && same(got.Entries, r.log[:n])
+		assert.Assert(t, whole || part, "%v, expected %v or a part of %v", got.Entries, after.log, r.log)
+	}
+	vote := raft.HardState{Term: got.Hard.Term, Vote: got.Hard.Vote}
+	assert.Assert(t, vote == raft.HardState{Term: r.hard.Term, Vote: r.hard.Vote} ||
+		vote == raft.HardState{Term: after.hard.Term, Vote: after.hard.Vote}, "%+v", got.Hard)
+	r.snap, r.log, r.hard = got.Snapshot, got.Entries, got.Hard
+}
+
+// TestFaultsAndCrashes guards against a store that loses or changes what it
+// acknowledged, or that cannot go on: after a failed write, a full disk, a
+// failed sync that drops pages, a killed process, or a power cut in the middle
+// of any call or of the recovery itself.
+func TestFaultsAndCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &run{disk: newDisk()}
+		r.reopen(t)
+		for range rapid.IntRange(1, 25).Draw(t, "calls") {
+			next := r.draw(t)
+			fault := rapid.IntRange(0, 9).Draw(t, "fault")
+			r.disk.failure = []error{syscall.ENOSPC, syscall.EIO}[fault%2]
+			if fault < 6 {
+				r.disk.countdown = rapid.IntRange(1, 9).Draw(t, "at")
+				r.disk.powerCut = fault < 3
+			}
+			err := next.call()
+			crash := r.disk.powerCut || fault == 6 || fault == 7 || (err != nil && fault == 3)
+			r.disk.countdown = 0
+			next.loose, r.abandoned = r.abandoned, false
+			if err != nil && !crash {
+				if fault == 4 && next.abandon(r) {
+					continue
+				}
+				assert.NilError(t, next.call(), "the repeated call")
+				err = nil
+			}
+			if err == nil {
+				r.hard, r.snap, r.log = next.hard, next.snap, next.log
+				next.keeps, next.loose = len(r.log), false
+			}
+			if !crash {
+				continue
+			}
+			r.disk.crash(t, rapid.Bool().Draw(t, "the machine too"))
+			if fault == 2 {
+				// The recovery is interrupted as well.
+				r.disk.countdown, r.disk.powerCut = rapid.IntRange(1, 6).Draw(t, "again"), true
+				_, _ = open("d", r.disk, 200)
+				r.disk.crash(t, true)
+			}
+			r.check(t, r.reopen(t), next)
+		}
+		assert.NilError(t, r.s.Close())
+		commit := r.hard.Commit
+		got := r.reopen(t)
+		assert.Assert(t, r.abandoned || got.Hard.Commit >= max(commit, r.snap.Index), "Close lost the commit index")
+		r.check(t, got, step{hard: r.hard, snap: r.snap, log: r.log, keeps: len(r.log), loose: r.abandoned})
+	})
+}
