--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -154,16 +154,9 @@
 	return s.removeOldSnaps()
 }
 
-// loadLog reads the segments that the snapshot does not cover and returns
-// their entries.
+// loadLog reads the segments, which must follow on each other and reach the
+// snapshot, and returns their entries.
 func (s *Store[C, F]) loadLog(firsts []uint64) ([]raft.Entry, error) {
-	for len(firsts) > 1 && firsts[1] <= s.snap.Index+1 {
-		name := segment{first: firsts[0]}.name()
-		if err := s.files.Remove(s.path(name)); err != nil {
-			return nil, ioError("remove "+name, err)
-		}
-		firsts = firsts[1:]
-	}
 	var log []raft.Entry
 	next := s.snap.Index + 1
 	for i, first := range firsts {
@@ -223,6 +216,8 @@
 // reconcile joins the snapshot and the log: it returns the entries after the
 // snapshot. The log is removed when it ends before the snapshot or has another
 // entry at the snapshot's index, which is what an interrupted Install leaves.
+// A log that starts right after the snapshot was cut by Snapshot, because
+// Install removes the first segment last.
 func (s *Store[C, F]) reconcile(log []raft.Entry) ([]raft.Entry, error) {
 	if len(log) > 0 && s.snap.Index > 0 {
 		covered := int(s.snap.Index + 1 - log[0].Index)
@@ -230,7 +225,7 @@
 			s.doomFrom(0)
 			return nil, s.removeDoomed()
 		}
-		log = slices.Clip(log[covered:])
+		log = slices.Clone(log[covered:])
 	}
 	term := s.snap.Term
 	for _, e := range log {
@@ -239,6 +234,10 @@
 		}
 		term = e.Term
 	}
+	s.trim()
+	if err := s.removeDoomed(); err != nil {
+		return nil, err
+	}
 	return log, s.settle()
 }
 
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -149,6 +149,14 @@
 	s.segments = append(s.segments[:i:i], s.segments[i+1:]...)
 }
 
+// trim takes the segments that the snapshot covers as a whole out of the log,
+// the first one first.
+func (s *Store[C, F]) trim() {
+	for len(s.segments) > 1 && s.segments[0].last <= s.snap.Index {
+		s.doom(0)
+	}
+}
+
 // removeDoomed removes the files that are no longer part of the log, each
 // durably before the next: the file system may otherwise keep any of them
 // over a crash, and an old segment must not follow on newer entries. Files
--- a/core/state/store/snap.go
+++ b/core/state/store/snap.go
@@ -104,9 +104,7 @@
 			return err
 		}
 	}
-	for len(s.segments) > 1 && s.segments[0].last <= s.snap.Index {
-		s.doom(0)
-	}
+	s.trim()
 	return s.tidy()
 }
 
