Check raft by seeded schedules and fix what they found

Change: the written commit index covers only entries synced before; promotion needs the member list on the member's disk; a restart takes the term of its last entry.

--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -136,9 +136,15 @@
 	return list, nil
 }
 
+// caughtUp reports whether a member may be promoted. It must hold the list
+// that it is in: without it the member refuses its vote, and the loss of one
+// other voter could leave the group without a quorum.
 func (n *Node) caughtUp(id MemberID) bool {
 	p := n.peers[id]
-	return p != nil && n.recent(id) && p.state != stateSnapshot && p.match > 0 && p.match+promoteLag >= n.commit
+	if p == nil || !n.recent(id) || p.state == stateSnapshot {
+		return false
+	}
+	return p.match >= n.lists[len(n.lists)-1].index && p.match+promoteLag >= n.commit
 }
 
 func (n *Node) member(id MemberID) (Member, bool) {
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -83,6 +83,11 @@
 	n.log.unsaved = n.log.last() + 1
 	n.log.stable = n.log.last()
 	n.commit = min(max(stored.Hard.Commit, stored.Snapshot.Index), n.log.last())
+	// A crash may have kept entries of a term and lost the hard state that was
+	// written with them; no vote of that term has left this member.
+	if t := n.log.lastTerm(); t > n.term {
+		n.term, n.vote = t, 0
+	}
 	n.resetElection()
 	return n
 }
--- /dev/null
+++ b/core/state/raft/node_test.go
@@ -0,0 +1,191 @@
+package raft
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+)
+
+// settled returns a world of three voters with a leader and some writes.
+func settled(t *testing.T, seed uint64) (*world, *host) {
+	t.Helper()
+	w := newWorld(seed, 3, 3)
+	w.until(t, func() bool { return w.leader() != nil })
+	for i := range 5 {
+		w.submit(w.leader(), request{kind: opWrite, new: int64(i + 1)})
+		w.run(20)
+	}
+	w.until(t, w.converged)
+	return w, w.leader()
+}
+
+func (w *world) until(t *testing.T, f func() bool) {
+	t.Helper()
+	for i := 0; !f(); i++ {
+		w.run(5)
+		assert.NilError(t, w.err)
+		assert.Assert(t, i < 2000, "the condition was not met within 10 s of simulated time")
+	}
+}
+
+func (w *world) pass(d clock.Millis) {
+	for end := w.now + d; w.now < end; {
+		w.run(5)
+	}
+}
+
+// TestIsolatedMember guards against a member that raises its term while it is
+// cut off and deposes the leader when it returns.
+func TestIsolatedMember(t *testing.T) {
+	for seed := range uint64(50) {
+		w, l := settled(t, seed)
+		term := l.node.Term()
+		cut := w.hosts[0]
+		if cut == l {
+			cut = w.hosts[1]
+		}
+		cut.side = 1
+		w.pass(60_000)
+		assert.Equal(t, cut.node.Term(), term)
+		cut.side = 0
+		w.pass(2000)
+		assert.Equal(t, w.leader(), l)
+		for _, h := range w.hosts {
+			assert.Equal(t, h.node.Term(), term)
+			assert.Equal(t, h.node.Leader(), l.self.ID)
+		}
+		assert.NilError(t, w.err)
+	}
+}
+
+// TestStaleLeaderRead guards against a leader that was frozen while another
+// took over and answers a read from its old state, and against one that is cut
+// off and never steps down.
+func TestStaleLeaderRead(t *testing.T) {
+	for seed := range uint64(50) {
+		w, old := settled(t, seed)
+		old.frozen = true
+		w.until(t, func() bool { return w.leader() != old })
+		w.submit(w.leader(), request{kind: opWrite, new: 99})
+		w.pass(100)
+		w.submit(old, request{kind: opRead})
+		read := len(w.history) - 1
+		w.pass(500)
+		assert.Equal(t, w.history[read].Return, forever)
+		assert.Assert(t, w.linear())
+
+		w.until(t, w.converged)
+		l := w.leader()
+		l.side = 1
+		w.pass(2 * w.cfg.ElectionTimeout)
+		assert.Equal(t, l.node.Role(), RoleFollower)
+		assert.Assert(t, l.node.Read(1, w.now) != nil)
+	}
+}
+
+// TestSecondLoss guards against the loss of acknowledged writes, or of the
+// quorum, when another disk is lost right after the first was repaired.
+func TestSecondLoss(t *testing.T) {
+	for seed := range uint64(50) {
+		w, _ := settled(t, seed)
+		for i, h := range w.hosts {
+			w.wipe(h)
+			w.until(t, func() bool {
+				w.reconcile()
+				return w.converged()
+			})
+			w.submit(w.leader(), request{kind: opWrite, new: int64(100 + i)})
+			w.until(t, func() bool { return w.history[len(w.history)-1].Return != forever })
+		}
+		w.recover()
+		assert.NilError(t, w.err)
+		assert.Equal(t, w.leader().value, int64(102))
+	}
+}
+
+// TestNewIdentity guards against a vote or a campaign of a member with an
+// empty disk.
+func TestNewIdentity(t *testing.T) {
+	cfg := Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 100, ChunkBytes: 10}
+	n := New(cfg, Stored{Self: Member{ID: 9}}, 0)
+	for _, kind := range []MessageKind{MsgPreVote, MsgVote} {
+		assert.NilError(t, n.Step(Message{Kind: kind, From: 1, To: 9, Term: 3, Index: 5, LogTerm: 2}, 1))
+		out := n.Output()
+		assert.Equal(t, len(out.Messages), 1)
+		assert.Assert(t, out.Messages[0].Reject)
+		n.Persisted()
+	}
+	n.Tick(10_000)
+	assert.Equal(t, n.Role(), RoleFollower)
+	_, _, err := n.Propose(nil, 10_000)
+	var e *Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Kind, KindNotLeader)
+}
+
+// TestCommitWithinMatch guards against a follower that commits its own
+// conflicting entries because the leader's commit index is beyond the entries
+// of the append.
+func TestCommitWithinMatch(t *testing.T) {
+	n := New(Config{}, Stored{
+		Self:    Member{ID: 2},
+		Hard:    HardState{Term: 1},
+		Entries: []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}},
+	}, 0)
+	assert.NilError(t, n.Step(Message{Kind: MsgAppend, From: 1, To: 2, Term: 2, Index: 1, LogTerm: 1, Commit: 3}, 1))
+	assert.Equal(t, n.Commit(), uint64(1))
+}
+
+// TestAppendAfterInstall guards against entries that are written in the same
+// output as a snapshot, which replaces the log and would lose them.
+func TestAppendAfterInstall(t *testing.T) {
+	n := New(Config{}, Stored{Self: Member{ID: 2}}, 0)
+	meta := SnapshotMeta{Index: 7, Term: 1}
+	assert.NilError(t, n.Step(Message{Kind: MsgSnapshot, From: 1, To: 2, Term: 1, Snapshot: meta, Last: true}, 1))
+	next := Message{Kind: MsgAppend, From: 1, To: 2, Term: 1, Index: 7, LogTerm: 1, Entries: []Entry{{Index: 8, Term: 1}}}
+	assert.NilError(t, n.Step(next, 1))
+	out := n.Output()
+	assert.Assert(t, out.Install != nil)
+	assert.Equal(t, len(out.Append), 0)
+	assert.Equal(t, out.Hard.Commit, uint64(0), "a crash before the installation would commit what the old log holds")
+	assert.Equal(t, len(out.Messages), 1)
+	n.Persisted()
+	assert.NilError(t, n.Step(next, 1))
+	out = n.Output()
+	assert.Equal(t, len(out.Append), 1)
+}
+
+// TestMembershipRules guards against two changes at a time, a promotion of a
+// member that lags, and the removal of the last voter.
+func TestMembershipRules(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	w.until(t, func() bool { return w.leader() != nil })
+	w.pass(50)
+	n := w.leader().node
+	for _, c := range []struct {
+		change MemberChange
+		kind   Kind
+		fails  bool
+	}{
+		{MemberChange{RemoveMember, Member{ID: 1}}, KindInvalid, true},
+		{MemberChange{PromoteMember, Member{ID: 5}}, KindInvalid, true},
+		{MemberChange{AddMember, Member{}}, KindInvalid, true},
+		{MemberChange{AddMember, Member{ID: 5, Voter: true}}, 0, false},
+		{MemberChange{AddMember, Member{ID: 6}}, KindPending, true},
+	} {
+		_, _, err := n.ChangeMembers(c.change, w.now)
+		var e *Error
+		assert.Equal(t, errors.As(err, &e), c.fails)
+		if c.fails {
+			assert.Equal(t, e.Kind, c.kind)
+		}
+	}
+	w.pass(50)
+	assert.Assert(t, !n.isVoter(5))
+	_, _, err := n.ChangeMembers(MemberChange{PromoteMember, Member{ID: 5}}, w.now)
+	var e *Error
+	assert.Assert(t, errors.As(err, &e) && e.Kind == KindPending)
+}
--- a/core/state/raft/output.go
+++ b/core/state/raft/output.go
@@ -23,7 +23,7 @@
 		Reads:        n.ready,
 		NeedSnapshot: n.want,
 	}
-	hard := HardState{Term: n.term, Vote: n.vote, Commit: n.commit}
+	hard := n.hardState()
 	// A commit index that changed alone is written with the next entries: a
 	// restarted member learns it again from the leader.
 	if hard.Term != n.handed.Term || hard.Vote != n.handed.Vote || (len(out.Append) > 0 && hard != n.handed) {
@@ -38,6 +38,18 @@
 	return out
 }
 
+// hardState returns the state to write. Its commit index covers only entries
+// that were synced before: a crash may keep the new hard state and lose the
+// entries or the snapshot written with it, and then entries that they would
+// have replaced must not count as committed.
+func (n *Node) hardState() HardState {
+	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.stable)}
+	if n.install != nil {
+		hard.Commit = n.handed.Commit
+	}
+	return hard
+}
+
 // Persisted tells that the last output is on disk and synced. Only now do the
 // leader's own entries count towards a quorum.
 func (n *Node) Persisted() {
--- /dev/null
+++ b/core/state/raft/world_test.go
@@ -0,0 +1,442 @@
+package raft
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/anishathalye/porcupine"
+
+	"camphorridge/core/state/clock"
+)
+
+// disk is what survives a crash of a host.
+type disk struct {
+	hard    HardState
+	snap    SnapshotMeta
+	data    []byte
+	entries []Entry
+}
+
+func (d *disk) last() uint64 { return d.snap.Index + uint64(len(d.entries)) }
+
+// write stores an output, or the part of it that a crash let through.
+func (d *disk) write(hard *HardState, entries []Entry) {
+	if hard != nil {
+		d.hard = *hard
+	}
+	if len(entries) > 0 {
+		keep := entries[0].Index - d.snap.Index - 1
+		d.entries = append(slices.Clone(d.entries[:keep]), entries...)
+	}
+}
+
+// host is a machine with a disk; node is nil while it is down.
+type host struct {
+	self    Member
+	wanted  bool
+	side    int
+	node    *Node
+	disk    disk
+	writing *Output
+	due     clock.Millis
+	slow    bool
+	// frozen stands for a process that gets no processor time.
+	frozen bool
+	// value, applied and commit belong to the running node.
+	value   int64
+	applied uint64
+	commit  uint64
+	waiting map[uint64]waiter
+	reading map[uint64]int
+}
+
+type waiter struct {
+	term uint64
+	op   int
+}
+
+type flight struct {
+	m   Message
+	due clock.Millis
+}
+
+// world is a group on a simulated network, with the checks of section 4.7.
+type world struct {
+	r     *rand.Rand
+	now   clock.Millis
+	hosts []*host
+	net   []flight
+	ids   MemberID
+	cfg   Config
+	// snapEvery is the number of applied entries between snapshots.
+	snapEvery uint64
+	loss      int
+	twice     int
+	maxDelay  int
+	leaders   map[uint64]MemberID
+	// committed is every entry that any host applied, by index-1.
+	committed []Entry
+	history   []porcupine.Operation
+	stamp     int64
+	installs  int
+	wipes     int
+	err       error
+}
+
+// request is an operation on the replicated register.
+type request struct {
+	kind     byte
+	old, new int64
+}
+
+const (
+	opWrite = 'w'
+	opSwap  = 'c'
+	opRead  = 'r'
+	forever = int64(1) << 62
+)
+
+// register is the sequential model: an output of -1 means that the client
+// never learnt the outcome.
+var register = porcupine.Model{
+	Init: func() any { return int64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		value, in, out := state.(int64), input.(request), output.(int64)
+		switch in.kind {
+		case opRead:
+			return out == value, value
+		case opWrite:
+			return true, in.new
+		}
+		swapped := value == in.old
+		if out >= 0 && (out == 1) != swapped {
+			return false, value
+		}
+		if swapped {
+			return true, in.new
+		}
+		return true, value
+	},
+}
+
+func newWorld(seed uint64, hosts, wanted int) *world {
+	r := rand.New(rand.NewPCG(seed, 1))
+	w := &world{
+		r: r, now: 1000, leaders: map[uint64]MemberID{}, snapEvery: uint64(4 + r.IntN(20)), maxDelay: 10,
+		cfg: Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 60 + r.IntN(400), ChunkBytes: 4 + r.IntN(30), KeepEntries: uint64(r.IntN(6)), Seed: seed},
+	}
+	var first []Member
+	for i := range hosts {
+		h := &host{wanted: i < wanted, self: w.newMember()}
+		w.hosts = append(w.hosts, h)
+		if h.wanted {
+			m := h.self
+			m.Voter = true
+			first = append(first, m)
+		}
+	}
+	for _, h := range w.hosts {
+		if h.wanted {
+			h.disk.snap.Members = first
+		}
+		w.start(h)
+	}
+	return w
+}
+
+func (w *world) newMember() Member {
+	w.ids++
+	return Member{ID: w.ids}
+}
+
+func (w *world) failf(format string, args ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf("at %d ms: %w", w.now, fmt.Errorf(format, args...))
+	}
+}
+
+func (w *world) start(h *host) {
+	h.node = New(w.cfg, Stored{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
+	h.load(h.disk.snap, h.disk.data)
+	h.commit = 0
+	h.waiting, h.reading, h.writing = map[uint64]waiter{}, map[uint64]int{}, nil
+}
+
+func (h *host) load(meta SnapshotMeta, data []byte) {
+	h.value, h.applied = 0, meta.Index
+	if len(data) >= 8 {
+		h.value = int64(binary.BigEndian.Uint64(data))
+	}
+}
+
+// crash stops a host. A write under way is lost, or any part of it survives.
+func (w *world) crash(h *host) {
+	if out := h.writing; out != nil && w.r.IntN(2) == 0 {
+		hard := []*HardState{out.Hard, nil}[w.r.IntN(2)]
+		h.disk.write(hard, out.Append[:w.r.IntN(len(out.Append)+1)])
+	}
+	h.node, h.writing, h.frozen = nil, nil, false
+}
+
+// wipe replaces a host's disk by an empty one with a new identity.
+func (w *world) wipe(h *host) {
+	w.crash(h)
+	w.wipes++
+	h.self, h.disk = w.newMember(), disk{}
+	w.start(h)
+}
+
+func (w *world) byID(id MemberID) *host {
+	for _, h := range w.hosts {
+		if h.self.ID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// run advances the time and gives every host its turn.
+func (w *world) run(step clock.Millis) {
+	w.now += step
+	due := w.net[:0:0]
+	rest := w.net[:0:0]
+	for _, f := range w.net {
+		to := w.byID(f.m.To)
+		if f.due <= w.now && (to == nil || !to.frozen) {
+			due = append(due, f)
+		} else {
+			rest = append(rest, f)
+		}
+	}
+	w.net = rest
+	for _, f := range due {
+		w.deliver(f.m)
+	}
+	for _, h := range w.hosts {
+		if h.node != nil && !h.frozen {
+			h.node.Tick(w.now)
+			w.turn(h)
+		}
+	}
+}
+
+func (w *world) deliver(m Message) {
+	h, from := w.byID(m.To), w.byID(m.From)
+	if h == nil || h.node == nil || (from != nil && from.side != h.side) {
+		return
+	}
+	if err := h.node.Step(m, w.now); err != nil {
+		w.failf("host %d: %w", m.To, err)
+	}
+	w.turn(h)
+}
+
+// turn finishes a due write and starts the next one.
+func (w *world) turn(h *host) {
+	for h.node != nil && w.err == nil {
+		w.check(h)
+		if h.writing == nil {
+			out := h.node.Output()
+			if out.Empty() {
+				return
+			}
+			w.checkHard(h, out.Hard)
+			h.writing, h.due = &out, w.now
+			if len(out.Append) > 0 || out.Hard != nil {
+				h.due += clock.Millis(w.r.IntN(3))
+				if h.slow {
+					h.due += clock.Millis(w.r.IntN(150))
+				}
+			}
+		}
+		if h.due > w.now {
+			return
+		}
+		w.finish(h)
+	}
+}
+
+// finish syncs the write under way and does what may follow on it.
+func (w *world) finish(h *host) {
+	out := h.writing
+	h.writing = nil
+	h.disk.write(out.Hard, out.Append)
+	if out.Install != nil {
+		h.disk.snap, h.disk.data, h.disk.entries = *out.Install, out.InstallData, nil
+		h.load(*out.Install, out.InstallData)
+		w.installs++
+	}
+	h.node.Persisted()
+	for _, m := range out.Messages {
+		w.checkSynced(h, m)
+		w.post(m)
+	}
+	for _, e := range out.Committed {
+		w.apply(h, e)
+	}
+	for _, r := range out.Reads {
+		w.answerRead(h, r)
+	}
+	for _, id := range out.NeedSnapshot {
+		h.node.ProvideSnapshot(id, h.disk.snap, h.disk.data)
+	}
+	if h.applied >= h.disk.snap.Index+w.snapEvery {
+		w.snapshot(h)
+	}
+}
+
+func (w *world) snapshot(h *host) {
+	meta, ok := h.node.Meta(h.applied)
+	if !ok {
+		// The log was replaced while these entries were being written.
+		if h.node.install == nil {
+			w.failf("host %d: no meta for applied index %d", h.self.ID, h.applied)
+		}
+		return
+	}
+	h.disk.entries = slices.Clone(h.disk.entries[meta.Index-h.disk.snap.Index:])
+	h.disk.snap = meta
+	h.disk.data = binary.BigEndian.AppendUint64(nil, uint64(h.value))
+	h.disk.data = append(h.disk.data, make([]byte, 30)...)
+	h.node.Compact(meta)
+}
+
+func (w *world) post(m Message) {
+	if w.r.IntN(100) < w.loss {
+		return
+	}
+	w.net = append(w.net, flight{m, w.now + clock.Millis(1+w.r.IntN(w.maxDelay))})
+	if w.r.IntN(100) < w.twice {
+		w.net = append(w.net, flight{m, w.now + clock.Millis(1+w.r.IntN(4*w.maxDelay))})
+	}
+}
+
+// apply checks state-machine safety and answers the client.
+func (w *world) apply(h *host, e Entry) {
+	if e.Index != h.applied+1 {
+		w.failf("host %d applied %d after %d", h.self.ID, e.Index, h.applied)
+	}
+	h.applied = e.Index
+	switch known := uint64(len(w.committed)); {
+	case e.Index == known+1:
+		w.committed = append(w.committed, e)
+	case e.Index > known+1:
+		w.failf("host %d applied %d before anyone applied %d", h.self.ID, e.Index, known+1)
+	case w.committed[e.Index-1].Term != e.Term || string(w.committed[e.Index-1].Data) != string(e.Data):
+		w.failf("host %d applied another entry at %d", h.self.ID, e.Index)
+	}
+	result := int64(0)
+	if e.Kind == EntryChange {
+		result = h.change(decodeRequest(e.Data))
+	}
+	if wait, ok := h.waiting[e.Index]; ok && wait.term == e.Term {
+		w.reply(wait.op, result)
+	}
+	delete(h.waiting, e.Index)
+}
+
+func (h *host) change(q request) int64 {
+	if q.kind == opSwap && h.value != q.old {
+		return 0
+	}
+	h.value = q.new
+	return 1
+}
+
+func (q request) encode() []byte {
+	b := binary.BigEndian.AppendUint64([]byte{q.kind}, uint64(q.old))
+	return binary.BigEndian.AppendUint64(b, uint64(q.new))
+}
+
+func decodeRequest(b []byte) request {
+	return request{b[0], int64(binary.BigEndian.Uint64(b[1:])), int64(binary.BigEndian.Uint64(b[9:]))}
+}
+
+// submit sends a request to a host, which may be a stale leader. A frozen
+// process wakes up with the request, before it sees how late it is.
+func (w *world) submit(h *host, q request) {
+	h.frozen = false
+	if h.node == nil {
+		return
+	}
+	op := len(w.history)
+	w.stamp++
+	record := porcupine.Operation{ClientId: op, Input: q, Call: w.stamp, Output: int64(-1), Return: forever}
+	if q.kind == opRead {
+		if h.node.Read(uint64(op), w.now) != nil {
+			return
+		}
+		h.reading[uint64(op)] = op
+	} else {
+		index, term, err := h.node.Propose(q.encode(), w.now)
+		if err != nil {
+			return
+		}
+		h.waiting[index] = waiter{term, op}
+	}
+	w.history = append(w.history, record)
+	w.turn(h)
+}
+
+func (w *world) reply(op int, result int64) {
+	w.stamp++
+	w.history[op].Output, w.history[op].Return = result, w.stamp
+}
+
+func (w *world) answerRead(h *host, r ReadReady) {
+	if r.Index > h.applied {
+		w.failf("host %d: read at %d with only %d applied", h.self.ID, r.Index, h.applied)
+	}
+	if op, ok := h.reading[r.Context]; ok {
+		w.reply(op, h.value)
+		delete(h.reading, r.Context)
+	}
+}
+
+// linear reports whether the client history is linearizable. Reads without an
+// answer constrain nothing and are left out.
+func (w *world) linear() bool {
+	done := slices.DeleteFunc(slices.Clone(w.history), func(o porcupine.Operation) bool {
+		return o.Input.(request).kind == opRead && o.Return == forever
+	})
+	return porcupine.CheckOperations(register, done)
+}
+
+// leader returns the host that leads the highest term.
+func (w *world) leader() *host {
+	var best *host
+	for _, h := range w.hosts {
+		if h.node != nil && h.node.Role() == RoleLeader && (best == nil || h.node.Term() > best.node.Term()) {
+			best = h
+		}
+	}
+	return best
+}
+
+// reconcile makes one membership change towards the wanted hosts.
+func (w *world) reconcile() {
+	l := w.leader()
+	if l == nil {
+		return
+	}
+	change := func(k ChangeKind, m Member) bool {
+		_, _, err := l.node.ChangeMembers(MemberChange{Kind: k, Member: m}, w.now)
+		if err == nil && l.node.termAt(l.node.commit) != l.node.term {
+			w.failf("leader %d changes the members before it committed an entry of its term", l.self.ID)
+		}
+		return err == nil
+	}
+	for _, m := range l.node.Members() {
+		if h := w.byID(m.ID); (h == nil || !h.wanted) && change(RemoveMember, m) {
+			return
+		}
+	}
+	for _, h := range w.hosts {
+		m, ok := l.node.member(h.self.ID)
+		if h.wanted && ((!ok && change(AddMember, h.self)) || (ok && !m.Voter && change(PromoteMember, m))) {
+			return
+		}
+	}
+}
