Move instances between pools by package plan

Cause: lost instances were marked and never replaced. Change: the mover follows the capacity decision, which waits 30 s for a lost instance before another takes its place, as each repair costs two moves; tests of the mover with a fake group.

--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -8,6 +8,7 @@
 	"camphorridge/core/state/fleet"
 	"camphorridge/core/state/maint"
 	"camphorridge/core/state/model"
+	"camphorridge/core/state/plan"
 	"camphorridge/core/state/ring"
 )
 
@@ -44,13 +45,14 @@
 }
 
 // Mover is the duty. Its methods may be called from any goroutine.
-type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge] struct {
+type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy] struct {
 	// Name is the author of the mover's changes.
 	Name     string
 	Entries  []model.Member
 	group    G
 	platform P
 	board    *Board[C, J]
+	capacity *Capacity[A]
 	clock    clock.Clock
 	events   func(model.Event)
 	in       *ring.Ring[input]
@@ -91,9 +93,9 @@
 }
 
 // New returns a mover; Run must be called for it to do anything.
-func New[G Group, P Platform, C maint.Pacer, J maint.Judge](name string, entries []model.Member, g G, p P, b *Board[C, J], c clock.Clock, events func(model.Event)) *Mover[G, P, C, J] {
-	m := &Mover[G, P, C, J]{
-		Name: name, Entries: entries, group: g, platform: p, board: b, clock: c, events: events,
+func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy](name string, entries []model.Member, g G, p P, b *Board[C, J], q *Capacity[A], c clock.Clock, events func(model.Event)) *Mover[G, P, C, J, A] {
+	m := &Mover[G, P, C, J, A]{
+		Name: name, Entries: entries, group: g, platform: p, board: b, capacity: q, clock: c, events: events,
 		in: ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	m.reset(0)
@@ -101,7 +103,7 @@
 }
 
 // reset forgets what belongs to a term: a new leader hears all reports anew.
-func (m *Mover[G, P, C, J]) reset(term uint64) {
+func (m *Mover[G, P, C, J, A]) reset(term uint64) {
 	m.term = term
 	m.registry = NewRegistry()
 	m.table = emptyTable()
@@ -112,17 +114,18 @@
 	m.outage = model.Outage{}
 	m.began = m.clock.Now()
 	m.board.Reset(nil)
+	m.capacity.Reset()
 	m.rebooted = map[model.InstanceID]clock.Millis{}
 	m.waits = nil
 }
 
 // Report takes a report of an entry process; false when the ring is full.
-func (m *Mover[G, P, C, J]) Report(r follow.Report) bool {
+func (m *Mover[G, P, C, J, A]) Report(r follow.Report) bool {
 	return m.in.Put(input{report: &r})
 }
 
 // Status returns what the mover knows of the entry processes.
-func (m *Mover[G, P, C, J]) Status(ctx context.Context) Status {
+func (m *Mover[G, P, C, J, A]) Status(ctx context.Context) Status {
 	answer := make(chan Status, 1)
 	if !m.in.PutWait(input{status: answer}, m.ended) {
 		return Status{}
@@ -137,13 +140,13 @@
 }
 
 // Refused is the number of reports that found a full ring.
-func (m *Mover[G, P, C, J]) Refused() int64 { return m.in.Refused() }
+func (m *Mover[G, P, C, J, A]) Refused() int64 { return m.in.Refused() }
 
 // Stop ends Run.
-func (m *Mover[G, P, C, J]) Stop() { close(m.done) }
+func (m *Mover[G, P, C, J, A]) Stop() { close(m.done) }
 
 // Run takes reports and makes passes until Stop.
-func (m *Mover[G, P, C, J]) Run() error {
+func (m *Mover[G, P, C, J, A]) Run() error {
 	defer close(m.ended)
 	tick := m.clock.After(passInterval)
 	for {
@@ -162,7 +165,7 @@
 }
 
 // take handles an input and reports whether a pass may find something new.
-func (m *Mover[G, P, C, J]) take(i input) bool {
+func (m *Mover[G, P, C, J, A]) take(i input) bool {
 	if i.status != nil {
 		i.status <- Status{Processes: m.registry.List(), Waits: append([]Wait(nil), m.waits...)}
 		return false
--- /dev/null
+++ b/core/coord/mover/mover_test.go
@@ -0,0 +1,192 @@
+package mover
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/coord/follow"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/maint"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/plan"
+)
+
+// fakeGroup applies changes at once, as a group of one member would.
+type fakeGroup struct {
+	state *fleet.State
+	clock *clock.Fake
+	term  uint64
+	leads bool
+}
+
+func (g *fakeGroup) Leads() (uint64, bool) { return g.term, g.leads }
+
+func (g *fakeGroup) Propose(_ context.Context, c model.Change) (model.Result, error) {
+	c.Time = g.clock.Now()
+	return g.state.Apply(g.state.Index+1, c), nil
+}
+
+func (g *fakeGroup) Query(_ context.Context, f func(*fleet.State)) error {
+	f(g.state)
+	return nil
+}
+
+type fakePlatform struct{ reboots []model.InstanceID }
+
+func (p *fakePlatform) Reboot(_ context.Context, i model.Instance) error {
+	p.reboots = append(p.reboots, i.ID)
+	return nil
+}
+
+type testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread]
+
+// world is a mover with two entry processes of one zone.
+type world struct {
+	t        *testing.T
+	clock    *clock.Fake
+	group    *fakeGroup
+	platform *fakePlatform
+	mover    *testMover
+	live     map[model.InstanceID]model.Announcement
+	drained  map[model.Process]model.Version
+}
+
+func newWorld(t *testing.T) *world {
+	clk := clock.NewFake(1_000_000)
+	w := &world{
+		t: t, clock: clk, platform: &fakePlatform{},
+		group:   &fakeGroup{state: fleet.New(), clock: clk, term: 1, leads: true},
+		live:    map[model.InstanceID]model.Announcement{},
+		drained: map[model.Process]model.Version{},
+	}
+	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
+	set := maint.Settings{StepMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, RetryMillis: 1000}
+	board := NewBoard(maint.FullSpeed{}, maint.Never{}, set)
+	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000)
+	w.mover = New("c1", entries, w.group, w.platform, board, capacity, clk.Clock(), func(model.Event) {})
+	for i := range 8 {
+		id := model.InstanceID(fmt.Sprintf("i%d", i))
+		a := model.Announcement{
+			Instance: id, Zone: "za", Rack: model.Rack(fmt.Sprintf("r%d", i/4)), Pool: "merge",
+			Slots: 8, Connections: 64, Incarnation: 1,
+		}
+		if i >= 6 {
+			a.Pool = "portal"
+		}
+		w.live[id] = a
+	}
+	w.run(6 * clock.Second)
+	r, _ := w.group.Propose(context.Background(), model.Change{
+		Kind: model.ChangeContractApply, Contract: model.Contract{
+			Customer: "acme", Pools: []model.PoolShare{{Pool: "merge", Instances: 6}}, Spare: 2, SparePool: "portal",
+			MaxUnavailable: 2, BudgetMillis: clock.Hour, WindowMillis: clock.Day,
+		},
+	})
+	assert.Equal(t, r.Kind, model.ResultApplied)
+	return w
+}
+
+// run lets time pass with reports of both entry processes each second; e2
+// confirms only what drained says.
+func (w *world) run(d clock.Millis) {
+	for range d / clock.Second {
+		w.clock.Advance(clock.Second)
+		for _, p := range []model.Process{"e1", "e2"} {
+			r := follow.Report{Process: p, Zone: "za", Incarnation: 1, Version: w.group.state.Version, Drained: w.group.state.Version}
+			if v, ok := w.drained[p]; ok {
+				r.Drained = v
+			}
+			for _, a := range w.live {
+				r.Live = append(r.Live, a)
+			}
+			for id := range w.group.state.Instances {
+				if _, ok := w.live[id]; !ok {
+					r.Gone = append(r.Gone, id)
+				}
+			}
+			w.mover.take(input{report: &r})
+		}
+		w.mover.pass()
+	}
+}
+
+func (w *world) instance(id model.InstanceID) model.Instance { return w.group.state.Instances[id] }
+
+// TestRepairWaitsForEveryEntry guards against an instance that is assigned to
+// another pool while an entry process of its zone may still route to it.
+func TestRepairWaitsForEveryEntry(t *testing.T) {
+	w := newWorld(t)
+	assert.Equal(t, len(w.group.state.Instances), 8)
+	w.drained["e2"] = w.group.state.Version
+	delete(w.live, "i0")
+	w.run(20 * clock.Second)
+	assert.Assert(t, w.instance("i0").Lost != 0)
+	assert.Equal(t, len(w.mover.moving), 0, "a restart must not cost moves")
+	w.run(20 * clock.Second)
+	assert.Equal(t, len(w.mover.moving), 1)
+	var moved model.InstanceID
+	for id := range w.mover.moving {
+		moved = id
+	}
+	assert.Equal(t, w.instance(moved).Pool, model.Pool("portal"))
+	assert.Equal(t, w.instance(moved).Phase, model.PhaseReleasing)
+	w.run(60 * clock.Second)
+	assert.Equal(t, w.instance(moved).Pool, model.Pool("portal"), "e2 has not confirmed")
+	assert.DeepEqual(t, w.mover.waits[0].For, []model.Process{"e2"})
+	delete(w.drained, "e2")
+	w.run(3 * clock.Second)
+	assert.Equal(t, w.instance(moved).Pool, model.Pool("merge"))
+	assert.Equal(t, w.instance(moved).Phase, model.PhaseServing)
+}
+
+// TestNewLeaderResumes guards against a wave or a loss that is forgotten, or
+// counted twice, when the leader changes in the middle.
+func TestNewLeaderResumes(t *testing.T) {
+	w := newWorld(t)
+	r, _ := w.group.Propose(context.Background(), model.Change{
+		Kind: model.ChangeMaintenanceDeclare, Time: w.clock.Now(),
+		Maintenance: model.Maintenance{Name: "m", Selector: model.Selector{Pool: "merge"}, Deadline: w.clock.Now() + clock.Day},
+	})
+	assert.Equal(t, r.Kind, model.ResultApplied)
+	for step := range 200 {
+		w.run(clock.Second)
+		if step%7 == 3 {
+			w.group.term++
+		}
+		away := 0
+		for id, i := range w.group.state.Instances {
+			if i.OutOfService() {
+				away++
+			}
+			// The platform reboots what was handed over.
+			if i.Phase == model.PhaseMaintenance {
+				a := w.live[id]
+				a.Incarnation = i.Incarnation + 1
+				w.live[id] = a
+			}
+		}
+		assert.Assert(t, away <= 2, "%d instances are out of service", away)
+	}
+	for id, i := range w.group.state.Instances {
+		if i.Pool == "merge" {
+			assert.Assert(t, i.Maintained >= w.group.state.Maintenance["m"].Declared, "%s was not maintained", id)
+		}
+	}
+}
+
+// TestSilentZoneIsLeftAlone guards against marking the instances of a
+// partitioned zone as lost and moving others for them.
+func TestSilentZoneIsLeftAlone(t *testing.T) {
+	w := newWorld(t)
+	for range 120 {
+		w.clock.Advance(clock.Second)
+		w.mover.pass()
+	}
+	for id, i := range w.group.state.Instances {
+		assert.Assert(t, i.Lost == 0 && i.Phase == model.PhaseServing, "%s is %v", id, i)
+	}
+}
--- /dev/null
+++ b/core/coord/mover/moves.go
@@ -0,0 +1,113 @@
+package mover
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/plan"
+)
+
+// Capacity decides moves between pools by package plan. It follows the table
+// by what changed and decides only after a change.
+type Capacity[A plan.Policy] struct {
+	policy A
+	set    plan.Settings
+	// RepairAfter is the time that a lost instance is waited for before another
+	// takes its place: most come back from a restart, and each repair costs two
+	// moves.
+	RepairAfter clock.Millis
+	book        *plan.Book
+	contracts   map[model.Customer]model.Contract
+	// lost holds the instances that are lost and not yet given up.
+	lost  map[model.InstanceID]model.Instance
+	dirty bool
+	last  plan.Assignment
+}
+
+// NewCapacity returns a capacity decision with the policy given.
+func NewCapacity[A plan.Policy](p A, set plan.Settings, repairAfter clock.Millis) *Capacity[A] {
+	c := &Capacity[A]{policy: p, set: set, RepairAfter: repairAfter}
+	c.Reset()
+	return c
+}
+
+// Reset forgets everything, for a new term.
+func (c *Capacity[A]) Reset() {
+	c.book = plan.NewBook(nil)
+	c.contracts = map[model.Customer]model.Contract{}
+	c.lost = map[model.InstanceID]model.Instance{}
+	c.last = plan.Assignment{}
+	c.dirty = false
+}
+
+// Follow takes what changed in the table.
+func (c *Capacity[A]) Follow(d model.Delta) {
+	for _, x := range d.Contracts {
+		c.contracts[x.Customer] = x
+	}
+	for _, x := range d.RemovedContracts {
+		delete(c.contracts, x)
+	}
+	if len(d.Contracts)+len(d.RemovedContracts) > 0 {
+		names := slices.Sorted(maps.Keys(c.contracts))
+		list := make([]model.Contract, 0, len(names))
+		for _, n := range names {
+			list = append(list, c.contracts[n])
+		}
+		c.book.SetContracts(list)
+		c.dirty = true
+	}
+	for _, i := range d.Instances {
+		c.book.SetInstance(i, false)
+		delete(c.lost, i.ID)
+		if i.Lost != 0 {
+			c.lost[i.ID] = i
+		}
+		c.dirty = true
+	}
+}
+
+// Moves returns the releases that start moves, and what the moves cannot
+// reach. It decides anew only after a change, or when a lost instance has been
+// waited for.
+func (c *Capacity[A]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
+	for id, i := range c.lost {
+		if now-i.Lost >= c.RepairAfter {
+			c.book.SetInstance(i, true)
+			delete(c.lost, id)
+			c.dirty = true
+		}
+	}
+	if !c.dirty {
+		return nil, c.waits()
+	}
+	c.dirty = false
+	c.last = plan.Decide(c.policy, c.set, c.book, nil)
+	var steps []model.InstanceStep
+	for _, m := range c.last.Moves {
+		i := t.Instances[m.Instance]
+		if i.Phase != model.PhaseServing || i.Lost != 0 {
+			continue
+		}
+		next := i
+		next.Phase, next.Target, next.Reason = model.PhaseReleasing, m.To, m.Reason
+		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
+	}
+	return steps, c.waits()
+}
+
+func (c *Capacity[A]) waits() []Wait {
+	var waits []Wait
+	for _, g := range c.last.Gaps {
+		waits = append(waits, Wait{
+			Reason: fmt.Sprintf("pool %s: %s %s: %d of %d: %s", g.Pool, g.Kind, g.Subject, g.Have, g.Need, g.Reason),
+		})
+	}
+	return waits
+}
+
+// Retry makes the next call decide again, after steps that were not applied.
+func (c *Capacity[A]) Retry() { c.dirty = true }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -19,7 +19,7 @@
 
 // pass brings the mover's copy of the table up to date and takes the steps
 // that are due.
-func (m *Mover[G, P, C, J]) pass() {
+func (m *Mover[G, P, C, J, A]) pass() {
 	term, ok := m.group.Leads()
 	if !ok {
 		m.waits = nil
@@ -44,7 +44,14 @@
 	plan := m.board.Pass(now)
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
-	m.propose(distinct(steps))
+	if now-m.began >= warmUp {
+		moves, gaps := m.capacity.Moves(m.table, now)
+		steps = append(steps, moves...)
+		m.waits = append(m.waits, gaps...)
+	}
+	if !m.propose(distinct(steps)) {
+		m.capacity.Retry()
+	}
 	m.reboots(now)
 }
 
@@ -63,7 +70,7 @@
 }
 
 // refresh follows the replicated state by its deltas.
-func (m *Mover[G, P, C, J]) refresh(now clock.Millis) bool {
+func (m *Mover[G, P, C, J, A]) refresh(now clock.Millis) bool {
 	ctx, cancel := m.deadline()
 	defer cancel()
 	var c Changed
@@ -81,6 +88,7 @@
 		m.outage = c.Outages[len(c.Outages)-1]
 	}
 	m.board.Follow(c)
+	m.capacity.Follow(c.Delta)
 	for _, i := range c.Delta.Instances {
 		m.note(i, now)
 	}
@@ -88,7 +96,7 @@
 }
 
 // note keeps the sets of instances under way.
-func (m *Mover[G, P, C, J]) note(i model.Instance, now clock.Millis) {
+func (m *Mover[G, P, C, J, A]) note(i model.Instance, now clock.Millis) {
 	delete(m.moving, i.ID)
 	delete(m.away, i.ID)
 	switch {
@@ -108,7 +116,7 @@
 }
 
 // see tells the board what is known of an instance, when that changed.
-func (m *Mover[G, P, C, J]) see(id model.InstanceID, s maint.Seen) {
+func (m *Mover[G, P, C, J, A]) see(id model.InstanceID, s maint.Seen) {
 	if m.seen[id] == s {
 		return
 	}
@@ -118,7 +126,7 @@
 
 // seeZones counts the instances of zones that fell silent as lost, without
 // marking them in the log, and takes that back when a zone reports again.
-func (m *Mover[G, P, C, J]) seeZones(now clock.Millis) {
+func (m *Mover[G, P, C, J, A]) seeZones(now clock.Millis) {
 	if now-m.began < warmUp {
 		return
 	}
@@ -145,7 +153,7 @@
 }
 
 // seeUnderWay tells the board how far the instances in maintenance are.
-func (m *Mover[G, P, C, J]) seeUnderWay() {
+func (m *Mover[G, P, C, J, A]) seeUnderWay() {
 	for id := range m.away {
 		i := m.table.Instances[id]
 		s := maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0}
@@ -161,7 +169,7 @@
 }
 
 // finishMoves returns the steps of the moves that were confirmed.
-func (m *Mover[G, P, C, J]) finishMoves() ([]model.InstanceStep, []Wait) {
+func (m *Mover[G, P, C, J, A]) finishMoves() ([]model.InstanceStep, []Wait) {
 	var steps []model.InstanceStep
 	var waits []Wait
 	for id := range m.moving {
@@ -175,7 +183,7 @@
 	return first(steps), waits
 }
 
-func (m *Mover[G, P, C, J]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
+func (m *Mover[G, P, C, J, A]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for _, s := range plan.Steps {
 		if step, ok := FromPlan(s, m.table.Instances[s.Instance], m.registry, now); ok {
@@ -187,7 +195,7 @@
 
 // planWaits turns the waits, stops and late deadlines of a plan into waits for
 // operators.
-func (m *Mover[G, P, C, J]) planWaits(plan maint.Plan) []Wait {
+func (m *Mover[G, P, C, J, A]) planWaits(plan maint.Plan) []Wait {
 	var waits []Wait
 	for id := range m.away {
 		i := m.table.Instances[id]
@@ -217,7 +225,7 @@
 }
 
 // reboots asks the platform for the reboots that have not shown an effect.
-func (m *Mover[G, P, C, J]) reboots(now clock.Millis) {
+func (m *Mover[G, P, C, J, A]) reboots(now clock.Millis) {
 	for id := range m.away {
 		i := m.table.Instances[id]
 		if i.Phase != model.PhaseMaintenance || m.seen[id].Restarted {
@@ -231,7 +239,7 @@
 	}
 }
 
-func (m *Mover[G, P, C, J]) reboot(i model.Instance) {
+func (m *Mover[G, P, C, J, A]) reboot(i model.Instance) {
 	ctx, cancel := m.deadline()
 	defer cancel()
 	detail := "asked the platform for a reboot"
@@ -241,15 +249,16 @@
 	m.events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
 }
 
-func (m *Mover[G, P, C, J]) propose(steps []model.InstanceStep) {
+// propose reports false when the steps were not applied.
+func (m *Mover[G, P, C, J, A]) propose(steps []model.InstanceStep) bool {
 	if len(steps) == 0 {
-		return
+		return true
 	}
 	ctx, cancel := m.deadline()
 	defer cancel()
 	r, err := m.group.Propose(ctx, model.Change{Kind: model.ChangeInstances, Author: m.Name, Instances: steps})
 	if err != nil || r.Kind != model.ResultApplied {
-		return
+		return false
 	}
 	for _, s := range steps {
 		m.events(model.Event{
@@ -257,8 +266,9 @@
 			Detail: s.Instance.Phase.String() + ": " + s.Instance.Reason,
 		})
 	}
+	return true
 }
 
-func (m *Mover[G, P, C, J]) deadline() (context.Context, context.CancelFunc) {
+func (m *Mover[G, P, C, J, A]) deadline() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), callTimeout.Duration())
 }
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -98,6 +98,9 @@
 	Platforms []Platform
 	Limits    ControlLimits
 	Consensus Consensus
+	// RepairAfterMillis is how long a lost instance is waited for before
+	// another takes its place.
+	RepairAfterMillis clock.Millis
 	// Maintenance times the waves.
 	Maintenance Maintenance
 	// LogLevel is debug, info, warn or error.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -49,6 +49,7 @@
 		},
 		[]Key[Control]{platformKey()},
 		[]Key[Control]{
+			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "time that a lost instance is waited for before another takes its place", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
 			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.StepMillis }),
 			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "time that the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
 			intKey("maintenance", "stuck-ms", "ms", "1200000", 100, 7*clock.Day, "time after which an instance in maintenance that did not come back counts as failed", func(c *Control) *clock.Millis { return &c.Maintenance.StuckMillis }),
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -13,6 +13,7 @@
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/maint"
 	"camphorridge/core/state/model"
+	"camphorridge/core/state/plan"
 	"camphorridge/core/state/raft"
 	"camphorridge/core/state/store"
 	"camphorridge/io/proto/codec"
@@ -26,7 +27,7 @@
 // significantly more than its peers, and slows down by what callers feel.
 type (
 	disk       = store.Store[codec.Codec, store.Disk]
-	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score]
+	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Spread]
 	keeperDuty = boot.Keeper[*peers.Client, *seat]
 )
 
@@ -99,7 +100,8 @@
 	})
 	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
 		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
-	c.mover = mover.New(string(cfg.Name), cfg.Entries, c.member, newPlatform(cfg.Platforms), board, clk, c.record)
+	capacity := mover.NewCapacity(plan.Spread{}, plan.Settings{}, cfg.RepairAfterMillis)
+	c.mover = mover.New(string(cfg.Name), cfg.Entries, c.member, newPlatform(cfg.Platforms), board, capacity, clk, c.record)
 	return c, nil
 }
 
