Count control traffic, processor time and memory, and measure them at rest

Cause: the target size bounds what control may cost a node. Change: counters for control bytes, processor time and resident memory in /metrics; benchmark ControlAtRest with real processes. The entry process's traffic does not fit 16 KB/s at the target size yet: every upstream announces each second.

--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -31,10 +31,12 @@
 
 // Client calls other processes.
 type Client struct {
-	Self   model.Process
-	http   *http.Client
-	stamps Stamps
-	mu     sync.Mutex
+	Self model.Process
+	// Traffic counts the bytes of all calls.
+	Traffic *Traffic
+	http    *http.Client
+	stamps  Stamps
+	mu      sync.Mutex
 	// remotes holds the twirp clients by address, made at first use.
 	remotes map[string]remote
 }
@@ -50,12 +52,14 @@
 // NewClient returns a client in the name of the process self.
 func NewClient(self model.Process, s Stamps) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
+	t := &Traffic{}
 	return &Client{
 		Self:    self,
+		Traffic: t,
 		stamps:  s,
 		remotes: map[string]remote{},
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         t.dial(d),
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: connsPerHost,
 		}},
--- /dev/null
+++ b/io/trans/peers/traffic.go
@@ -0,0 +1,64 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes that a process exchanges with the system's other
+// processes and with upstreams that announce themselves.
+type Traffic struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Sent is the number of bytes written since the start.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Received is the number of bytes read since the start.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+// Listener counts the bytes of the connections that l accepts.
+func (t *Traffic) Listener(l net.Listener) net.Listener { return &countedListener{Listener: l, t: t} }
+
+// dial returns a dial function whose connections are counted.
+func (t *Traffic) dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c, t: t}, nil
+	}
+}
+
+type countedListener struct {
+	net.Listener
+	t *Traffic
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, t: l.t}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	t *Traffic
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.t.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.t.sent.Add(int64(n))
+	return n, err
+}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -143,7 +143,7 @@
 	consensusServer := &peers.ConsensusServer[*seat]{Group: c.member, Stamps: c.recorder}
 	add(g, c.mover)
 	add(g, c.keeper)
-	addServer(g, l, peers.Mux(server, consensusServer, nil, timeline), peerStop)
+	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, timeline), peerStop)
 	add(g, newFormation(c))
 	add(g, adm)
 	add(g, c.recorder)
@@ -173,6 +173,7 @@
 		{"reports-refused", c.mover.Refused},
 		{"events-dropped", func() int64 { return c.recorder.Counts().Dropped }},
 	})
+	counters(r, usage(c.client.Traffic))
 	_ = admin.Value(r, "term", func() int64 { return int64(c.member.Status().Term) })
 	_ = admin.Value(r, "commit-index", func() int64 { return int64(c.member.Status().Commit) })
 	_ = admin.Value(r, "leader", func() int64 {
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -175,7 +175,7 @@
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	e.addCallers(g, callers)
-	addServer(g, upstreams, peers.AnnounceHandler(e.announce), peerStop)
+	addServer(g, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce), peerStop)
 	add(g, e.poller)
 	add(g, e.reporter)
 	add(g, e.roster)
@@ -183,7 +183,7 @@
 	add(g, e.link)
 	add(g, e.dispatch)
 	add(g, newForwarder(e.events, e.record))
-	addServer(g, peerListener, peers.Mux(nil, nil, e.neighbour(), e.timeline()), peerStop)
+	addServer(g, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbour(), e.timeline()), peerStop)
 	add(g, adm)
 	add(g, e.recorder)
 	return nil
@@ -284,6 +284,7 @@
 		{"announcements-not-forwarded", e.roster.Refused},
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
+	counters(r, usage(e.client.Traffic))
 	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
 	return r
 }
--- a/tests/relay_test.go
+++ b/tests/relay_test.go
@@ -32,7 +32,7 @@
 	conns   map[net.Conn]bool
 }
 
-func newRelay(t *testing.T, listen, target string) *relay {
+func newRelay(t testing.TB, listen, target string) *relay {
 	t.Helper()
 	l, err := net.Listen("tcp", listen)
 	assert.NilError(t, err)
--- /dev/null
+++ b/tests/rest_test.go
@@ -0,0 +1,75 @@
+package tests
+
+import (
+	"bufio"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// metrics reads the metrics of a process by name.
+func (s *system) metrics(p *process) map[string]float64 {
+	out := map[string]float64{}
+	resp, err := probes.Get("http://" + p.admin + "/metrics")
+	if err != nil {
+		return out
+	}
+	defer resp.Body.Close()
+	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
+		name, rest, ok := strings.Cut(sc.Text(), "{")
+		_, value, found := strings.Cut(rest, "} ")
+		if v, err := strconv.ParseFloat(value, 64); ok && found && err == nil {
+			out[strings.TrimPrefix(name, "camphorridge_")] = v
+		}
+	}
+	return out
+}
+
+// observed is how long the processes are observed at rest.
+const observed = 10 * time.Second
+
+// BenchmarkControlAtRest reports what the processes cost while nothing
+// changes, as the mean over each role, for fleets of two sizes: the slope is
+// the cost of an instance.
+func BenchmarkControlAtRest(b *testing.B) {
+	for _, perZone := range []int{17, 170, 510} {
+		b.Run(fmt.Sprintf("instances=%d", 3*perZone), func(b *testing.B) {
+			l := threeZones()
+			for z := range l.upstreams {
+				l.upstreams[z] = strings.Split(strings.Repeat("merge,", perZone-1)+"merge", ",")
+			}
+			for b.Loop() {
+				s := start(b, l)
+				s.wait("all instances", func() bool {
+					out, err := s.cli("instances")
+					return err == nil && strings.Count(out, "serving") == 3*perZone
+				})
+				s.reportRest(b, s.entries, "entry")
+				s.reportRest(b, s.controls, "control")
+			}
+		})
+	}
+}
+
+func (s *system) reportRest(b *testing.B, all []*process, role string) {
+	before := make([]map[string]float64, len(all))
+	for i, p := range all {
+		before[i] = s.metrics(p)
+	}
+	time.Sleep(observed)
+	var cpu, memory, bytes float64
+	for i, p := range all {
+		after := s.metrics(p)
+		cpu += after["process_cpu_ms_total"] - before[i]["process_cpu_ms_total"]
+		memory += after["process_resident_bytes_total"]
+		for _, name := range []string{"control_bytes_sent_total", "control_bytes_received_total"} {
+			bytes += after[name] - before[i][name]
+		}
+	}
+	n, seconds := float64(len(all)), observed.Seconds()
+	b.ReportMetric(cpu/n/seconds/10, role+"-core-%")
+	b.ReportMetric(memory/n/(1<<20), role+"-MiB")
+	b.ReportMetric(bytes/n/seconds/1024, role+"-KiB/s")
+}
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -53,7 +53,7 @@
 
 // system is a running system with its own loopback addresses.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	octet    int
 	hosts    int
@@ -94,7 +94,7 @@
 	}
 }
 
-func start(t *testing.T, l layout) *system {
+func start(t testing.TB, l layout) *system {
 	t.Helper()
 	octets.Lock()
 	octets.next++
