--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -19,11 +19,15 @@
 	retryWait clock.Millis = 250
 	// neighbourTimeout bounds one question to a neighbour.
 	neighbourTimeout clock.Millis = 500
-	// ReadyAfter is how long a starting process looks for a control member
-	// before it serves the table of a neighbour.
-	ReadyAfter = 5 * clock.Second
+	// aloneRounds is the number of rounds without a control member, about 5 s,
+	// after which a process goes by its neighbours, or by the table it has.
+	aloneRounds int = 20
 )
 
+// Offer hands a delta to the duty that owns the table. An error means that it
+// was not taken: it would lower the version or does not follow on the table.
+type Offer func(d model.Delta) error
+
 // Source reads tables from other processes.
 type Source interface {
 	// Watch asks a control member for the delta after a version.
@@ -40,19 +44,23 @@
 	// Neighbours lists the other entry processes of the own zone.
 	Neighbours []model.Member
 	source     S
-	keeper     *Keeper
-	watch      *Watchdog
+	offer      Offer
 	clock      clock.Clock
 	done       chan struct{}
 	version    atomic.Uint64
 	inForce    atomic.Int64
 	// contact is the time of the last answer of a control member.
 	contact atomic.Int64
+	// answered says that the last question to a control member was answered;
+	// the next one may then be held back.
+	answered bool
+	// alone counts the rounds without an answer of a control member.
+	alone int
 }
 
 // NewPoller returns a poller for the process self.
-func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, k *Keeper, w *Watchdog, c clock.Clock) *Poller[S] {
-	p := &Poller[S]{Self: self, source: s, keeper: k, watch: w, clock: c, done: make(chan struct{})}
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, c clock.Clock) *Poller[S] {
+	p := &Poller[S]{Self: self, source: s, offer: offer, clock: c, done: make(chan struct{})}
 	p.Control = append(p.Control, control...)
 	sort.SliceStable(p.Control, func(i, j int) bool {
 		a, b := p.Control[i].Zone == self.Zone, p.Control[j].Zone == self.Zone
@@ -83,12 +91,13 @@
 		<-p.done
 		cancel()
 	}()
-	started := p.clock.Now()
 	for !p.stopped() {
 		if p.pollControl(ctx) {
+			p.alone = 0
 			continue
 		}
-		p.askNeighbours(ctx, p.clock.Now()-started >= ReadyAfter)
+		p.alone++
+		p.goAlone(ctx)
 		select {
 		case <-p.clock.After(retryWait):
 		case <-p.done:
@@ -110,14 +119,13 @@
 }
 
 // pollControl asks the control members in turn and reports whether one
-// answered. A process that is not ready asks without waiting.
+// answered. Until one has, it asks them not to hold the answer back.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
 	for _, m := range p.Control {
 		wait := WatchWait
-		if !p.watch.Confirmed() {
+		if !p.answered {
 			wait = 0
 		}
-		mark := p.watch.Mark()
 		callCtx, cancel := context.WithTimeout(ctx, (wait + watchSlack).Duration())
 		d, err := p.source.Watch(callCtx, m, p.Version(), wait)
 		cancel()
@@ -125,36 +133,40 @@
 			return true
 		}
 		if err != nil || !p.take(d) {
+			p.answered = false
 			continue
 		}
+		p.answered = true
 		p.contact.Store(int64(p.clock.Now()))
-		p.watch.Confirm(mark)
 		return true
 	}
 	return false
 }
 
-// take offers the delta to the keeper; an empty delta is accepted as it is.
-// A member that is behind this process offers nothing that can be taken.
+// take offers the delta to the table's owner. An empty delta is offered too:
+// it confirms the table after a pause of this process. A member that is behind
+// this process offers nothing that can be taken.
 func (p *Poller[S]) take(d model.Delta) bool {
-	if d.To < p.Version() {
+	before := p.Version()
+	if d.To < before || p.offer(d) != nil {
 		return false
 	}
-	if !d.Full && d.To == p.Version() && d.From == d.To {
-		return true
+	if d.To > before || p.inForce.Load() == 0 {
+		p.version.Store(uint64(d.To))
+		p.inForce.Store(int64(p.clock.Now()))
 	}
-	if !p.keeper.Offer(d) {
-		return false
-	}
-	p.version.Store(uint64(d.To))
-	p.inForce.Store(int64(p.clock.Now()))
 	return true
 }
 
-// askNeighbours takes the highest table of the zone. It makes the process
-// ready only when it has looked for a control member for long enough.
-func (p *Poller[S]) askNeighbours(ctx context.Context, enough bool) {
-	mark := p.watch.Mark()
+// goAlone goes by the neighbours' tables while no control member answers. A
+// process without a table first looks for a control member for some time, and
+// one that hears nobody goes on with the table it has: a partitioned zone must
+// serve what it can.
+func (p *Poller[S]) goAlone(ctx context.Context) {
+	enough := p.alone >= aloneRounds
+	if p.Version() == 0 && !enough {
+		return
+	}
 	answered := false
 	for _, m := range p.Neighbours {
 		callCtx, cancel := context.WithTimeout(ctx, neighbourTimeout.Duration())
@@ -165,7 +177,7 @@
 		}
 		answered = p.take(d) || answered
 	}
-	if enough && (answered || p.Version() > 0) {
-		p.watch.Confirm(mark)
+	if v := p.Version(); !answered && enough && v > 0 {
+		p.take(model.Delta{From: v, To: v})
 	}
 }
--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -5,7 +5,7 @@
 	"sort"
 
 	"camphorridge/core/state/clock"
-	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/maint"
 	"camphorridge/core/state/model"
 )
 
@@ -16,53 +16,99 @@
 type Wait struct {
 	Instance model.InstanceID
 	// For lists the entry processes that have not confirmed the release.
-	For   []model.Process
-	Since clock.Millis
+	For    []model.Process
+	Since  clock.Millis
+	Reason string
 }
 
-// Enrol returns the steps that make announced instances part of the fleet.
-func Enrol(s *fleet.State, g *Registry) []model.InstanceStep {
+// Enrol returns the steps that make announced instances part of the fleet. The
+// period until their next maintenance starts now.
+func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
-	for id, l := range g.Live {
-		if _, known := s.Instances[id]; known || l.Announcement.State != model.AnnounceServing {
+	for id := range g.Fresh {
+		l, live := g.Live[id]
+		_, known := t.Instances[id]
+		if !live || known || l.Announcement.State != model.AnnounceServing {
 			continue
 		}
 		a := l.Announcement
 		steps = append(steps, model.InstanceStep{Instance: model.Instance{
 			ID: id, Zone: a.Zone, Rack: a.Rack, Pool: a.Pool, Target: a.Pool,
 			Phase: model.PhaseServing, Slots: a.Slots, Connections: a.Connections,
-			Reason: "announced",
+			Reason: "announced", Maintained: now,
 		}})
 	}
 	return first(steps)
 }
 
-// FinishReleases returns the steps of releases that every entry process of
-// the instance's zone confirmed, and the waits of the others.
-func FinishReleases(s *fleet.State, g *Registry, entries []model.Member) ([]model.InstanceStep, []Wait) {
+// FinishMove returns the step that ends a move, or the wait when an entry
+// process of the instance's zone has not confirmed the release.
+func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
+	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
+		return model.InstanceStep{}, &Wait{
+			Instance: i.ID, For: missing, Since: i.Since,
+			Reason: "an entry process has not confirmed the release",
+		}
+	}
+	next := i
+	next.Phase = model.PhaseServing
+	next.Pool = i.Target
+	next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
+	return model.InstanceStep{Base: i.Version, Instance: next}, nil
+}
+
+// MarkLost returns the steps that mark absent instances as lost and those
+// that mark instances as heard again. Instances of a zone that is silent as a
+// whole are left alone: it may be partitioned and serve its own callers.
+func MarkLost(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
-	var waits []Wait
-	for _, i := range s.Instances {
-		if i.Phase != model.PhaseReleasing {
+	for id, since := range g.Absent {
+		i, ok := t.Instances[id]
+		if !ok || i.Phase != model.PhaseServing {
 			continue
 		}
-		missing := g.Unconfirmed(entries, i.Zone, i.Version)
-		if len(missing) > 0 {
-			waits = append(waits, Wait{Instance: i.ID, For: missing, Since: i.Since})
+		if i.Lost != 0 || now-since < LossGrace || g.Silent(i.Zone, now) {
 			continue
 		}
 		next := i
-		if i.Target == i.Pool {
-			next.Phase = model.PhaseMaintenance
-		} else {
-			next.Phase = model.PhaseServing
-			next.Pool = i.Target
-			next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
+		next.Lost = now
+		next.Reason = "lost: no entry process hears it"
+		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
+	}
+	for id := range g.Fresh {
+		i, ok := t.Instances[id]
+		if !ok || i.Lost == 0 || i.Phase != model.PhaseServing {
+			continue
 		}
+		next := i
+		next.Lost = 0
+		next.Reason = "heard again"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
-	sort.Slice(waits, func(a, b int) bool { return waits[a].Instance < waits[b].Instance })
-	return first(steps), waits
+	return first(steps)
+}
+
+// FromPlan returns the step of the replicated log for a step of a maintenance
+// plan; ok is false for steps that change nothing there.
+func FromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
+	next := i
+	next.Reason = s.Reason
+	switch s.Kind {
+	case maint.StepRelease:
+		next.Phase, next.Target = model.PhaseReleasing, i.Pool
+	case maint.StepHandOver:
+		next.Phase = model.PhaseMaintenance
+		next.Incarnation = g.Live[i.ID].Announcement.Incarnation
+	case maint.StepReturn:
+		next.Phase, next.Target = model.PhaseServing, i.Pool
+		if s.Done {
+			next.Maintained = now
+			next.Reason = "maintained: " + s.Reason
+		}
+	default:
+		return step, false
+	}
+	return model.InstanceStep{Base: i.Version, Instance: next}, true
 }
 
 // first orders the steps by instance, so that equal states give equal
--- /dev/null
+++ b/io/trans/peers/client.go
@@ -0,0 +1,181 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"camphorridge/core/coord/follow"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+	"camphorridge/io/proto/codec"
+	"camphorridge/io/proto/wirepb"
+)
+
+// Timing of the connections between processes. A connection that went silent
+// is given up after the timeout of one call, and new calls use new ones.
+const (
+	dialTimeout  = 500 * time.Millisecond
+	idleTimeout  = 30 * time.Second
+	connsPerHost = 8
+)
+
+// Stamps is the hybrid clock that every message carries along.
+type Stamps interface {
+	Next() model.Stamp
+	Observe(s model.Stamp)
+}
+
+// Client calls other processes.
+type Client struct {
+	Self   model.Process
+	http   *http.Client
+	stamps Stamps
+	mu     sync.Mutex
+	// remotes holds the twirp clients by address, made at first use.
+	remotes map[string]remote
+}
+
+// remote holds the twirp clients of one address.
+type remote struct {
+	control   wirepb.Control
+	neighbour wirepb.Neighbour
+	consensus wirepb.Consensus
+	timeline  wirepb.Timeline
+}
+
+// NewClient returns a client in the name of the process self.
+func NewClient(self model.Process, s Stamps) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		Self:    self,
+		stamps:  s,
+		remotes: map[string]remote{},
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         d.DialContext,
+			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost: connsPerHost,
+		}},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) remote(address string) remote {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.remotes[address]
+	if !ok {
+		base := "http://" + address
+		r = remote{
+			control:   wirepb.NewControlProtobufClient(base, c.http),
+			neighbour: wirepb.NewNeighbourProtobufClient(base, c.http),
+			consensus: wirepb.NewConsensusProtobufClient(base, c.http),
+			timeline:  wirepb.NewTimelineProtobufClient(base, c.http),
+		}
+		c.remotes[address] = r
+	}
+	return r
+}
+
+func (c *Client) stamp() *wirepb.Stamp { return codec.StampToWire(c.stamps.Next()) }
+
+func (c *Client) observe(s *wirepb.Stamp) { c.stamps.Observe(codec.StampFromWire(s)) }
+
+// failed closes the idle connections after a call without an answer: those
+// that went silent with it would fail the next calls too.
+func (c *Client) failed(op string, err error) *Error {
+	mapped, _ := fromTwirp(op, err)
+	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
+		c.http.CloseIdleConnections()
+	}
+	return mapped
+}
+
+// Watch asks a control member for the delta after a version.
+func (c *Client) Watch(ctx context.Context, m model.Member, from model.Version, wait clock.Millis) (model.Delta, error) {
+	resp, err := c.remote(m.Address).control.Watch(ctx, &wirepb.WatchRequest{
+		Process: string(c.Self), Version: uint64(from), WaitMs: int64(wait), Stamp: c.stamp(),
+	})
+	if err != nil {
+		return model.Delta{}, c.failed("watch "+string(m.Name), err)
+	}
+	c.observe(resp.GetStamp())
+	return codec.DeltaFromWire(resp.GetDelta())
+}
+
+// Table asks an entry process for its table.
+func (c *Client) Table(ctx context.Context, m model.Member, from model.Version) (model.Delta, bool, error) {
+	resp, err := c.remote(m.Address).neighbour.Table(ctx, &wirepb.TableRequest{Version: uint64(from), Stamp: c.stamp()})
+	if err != nil {
+		return model.Delta{}, false, c.failed("table of "+string(m.Name), err)
+	}
+	c.observe(resp.GetStamp())
+	d, err := codec.DeltaFromWire(resp.GetDelta())
+	return d, resp.GetReady(), err
+}
+
+// Announce passes announcements to an entry process of the zone.
+func (c *Client) Announce(ctx context.Context, m model.Member, all []model.Announcement) error {
+	req := &wirepb.AnnounceRequest{Stamp: c.stamp()}
+	for _, a := range all {
+		req.Announcements = append(req.Announcements, codec.AnnouncementToWire(a))
+	}
+	resp, err := c.remote(m.Address).neighbour.Announce(ctx, req)
+	if err != nil {
+		return c.failed("announce to "+string(m.Name), err)
+	}
+	c.observe(resp.GetStamp())
+	return nil
+}
+
+// step sends consensus messages to a member.
+func (c *Client) step(ctx context.Context, address string, all []raft.Message) error {
+	req := &wirepb.StepRequest{Stamp: c.stamp()}
+	for _, m := range all {
+		req.Messages = append(req.Messages, codec.MessageToWire(m))
+	}
+	resp, err := c.remote(address).consensus.Step(ctx, req)
+	if err != nil {
+		return c.failed("step", err)
+	}
+	c.observe(resp.GetStamp())
+	return nil
+}
+
+func reportToWire(r follow.Report) *wirepb.ReportRequest {
+	w := &wirepb.ReportRequest{
+		Process: string(r.Process), Zone: string(r.Zone), Incarnation: r.Incarnation,
+		Version: uint64(r.Version), Drained: uint64(r.Drained),
+	}
+	for _, a := range r.Live {
+		w.Live = append(w.Live, codec.AnnouncementToWire(a))
+	}
+	for _, id := range r.Gone {
+		w.Gone = append(w.Gone, string(id))
+	}
+	return w
+}
+
+func reportFromWire(w *wirepb.ReportRequest) (follow.Report, error) {
+	r := follow.Report{
+		Process: model.Process(w.GetProcess()), Zone: model.Zone(w.GetZone()),
+		Incarnation: w.GetIncarnation(),
+		Version:     model.Version(w.GetVersion()), Drained: model.Version(w.GetDrained()),
+	}
+	for _, wa := range w.GetLive() {
+		a, err := codec.AnnouncementFromWire(wa)
+		if err != nil {
+			return r, err
+		}
+		r.Live = append(r.Live, a)
+	}
+	for _, id := range w.GetGone() {
+		r.Gone = append(r.Gone, model.InstanceID(id))
+	}
+	return r, nil
+}
