Use the state's time for outages and declarations

Cause: the times of an outage, of a phase and of a declaration came from the change, whose clock may be behind after a change of leader, so that an outage could end before its start. Beyond MaxOutages each outage copied all others. Change: the largest time seen is used, the list is cut at its front, decoded outages are checked, and the property tests cover outages. Measured: TestReplicasStayEqual fails with the change's time and passes with the state's; go test -race of fleet, codec and store passes.

--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -163,7 +163,7 @@
 		return s.conflict(object, held.Version, maintenanceDiff(held, m))
 	}
 	m.Version = index
-	m.Declared = c.Time
+	m.Declared = s.Time
 	s.Maintenance[m.Name] = m
 	s.Authors[object] = Author{Name: c.Author, Version: index}
 	return model.Result{Version: index}
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -41,7 +41,7 @@
 	}
 	retired := false
 	for _, step := range c.Instances {
-		next := s.account(s.Instances[step.Instance.ID], step.Instance, c.Time)
+		next := s.account(s.Instances[step.Instance.ID], step.Instance, s.Time)
 		next.Version = index
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
@@ -55,7 +55,9 @@
 }
 
 // account sets the times of the next state of an instance and remembers an
-// outage that ends with it.
+// outage that ends with it. now is the state's time, not that of the change: a
+// new leader's clock may be behind, and an outage must not end before its
+// start.
 func (s *State) account(held, next model.Instance, now clock.Millis) model.Instance {
 	next.Since = held.Since
 	if held.ID == "" || next.Phase != held.Phase {
@@ -69,7 +71,7 @@
 		next.Out = 0
 		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.Out, To: now})
 		if over := len(s.Outages) - MaxOutages; over > 0 {
-			s.Outages = append([]model.Outage(nil), s.Outages[over:]...)
+			s.Outages = s.Outages[over:]
 		}
 	}
 	return next
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -50,12 +50,19 @@
 	return &wirepb.Outage{Instance: text(o.Instance), Pool: text(o.Pool), FromMs: int64(o.From), ToMs: int64(o.To)}
 }
 
-// OutageFromWire maps an outage.
-func OutageFromWire(w *wirepb.Outage) model.Outage {
+// OutageFromWire maps an outage; its instance is required, and it must not end
+// before its start.
+func OutageFromWire(w *wirepb.Outage) (model.Outage, error) {
+	if err := required("outage", "instance", w.GetInstance()); err != nil {
+		return model.Outage{}, err
+	}
+	if w.GetToMs() < w.GetFromMs() {
+		return model.Outage{}, stateError(KindRange, "an outage from %d to %d ms", w.GetFromMs(), w.GetToMs())
+	}
 	return model.Outage{
 		Instance: model.InstanceID(w.GetInstance()), Pool: model.Pool(w.GetPool()),
 		From: clock.Millis(w.GetFromMs()), To: clock.Millis(w.GetToMs()),
-	}
+	}, nil
 }
 
 // StateFromWire maps the replicated state. Its parts must be in the order in
@@ -89,9 +96,11 @@
 			Instance: model.InstanceID(t.GetInstance()),
 		})
 	}
-	for _, o := range w.GetOutages() {
-		s.Outages = append(s.Outages, OutageFromWire(o))
+	outages, err := listFrom(w.GetOutages(), OutageFromWire)
+	if err != nil {
+		return nil, err
 	}
+	s.Outages = outages
 	for _, a := range w.GetAuthors() {
 		if a.GetName() == "" {
 			return nil, stateError(KindMissing, "an author's object has no name")
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -40,6 +40,7 @@
 		s.Results.Put(model.RequestID(fmt.Sprint("r", n%3)), anyResult(t), clock.Millis(n))
 		s.Claims.Put(anyKey(t), fleet.HeldClaim{Token: "t", State: model.ClaimDone, Status: 200 + n}, clock.Millis(n))
 	}
+	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
 	s.Authors["contract x"] = fleet.Author{Name: "ana", Version: 7}
 	s.Touches = []fleet.Touch{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
 	return s
