--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -305,6 +305,9 @@
 	}
 }
 
+// soon is the lease after a change of pool, which is announced at once.
+const soon = 10 * time.Millisecond
+
 // defaultLease is used until an entry process tells the lease.
 const defaultLease = 1500 * time.Millisecond
 
@@ -356,6 +359,7 @@
 	if p := answer.Get("pool"); p != "" && p != u.pool {
 		u.pool = p
 		u.incarnation++
+		return soon
 	}
 	ms, err := strconv.Atoi(answer.Get("lease-ms"))
 	if err != nil || ms <= 0 {
