--- /dev/null
+++ b/core/coord/group/group_test.go
@@ -0,0 +1,232 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+)
+
+// outcome is the end of a proposal that ran in its own goroutine.
+type outcome struct {
+	result model.Result
+	err    error
+}
+
+func apply(customer string, request string) model.Change {
+	return model.Change{
+		Kind: model.ChangeContractApply, Request: model.RequestID(request), Author: "operator",
+		Contract: model.Contract{Customer: model.Customer(customer)},
+	}
+}
+
+// propose starts a proposal and returns where it ends.
+func (c *cluster) propose(id raft.MemberID, change model.Change) <-chan outcome {
+	ch := make(chan outcome, 1)
+	g := c.group(id)
+	go func() {
+		r, err := g.Propose(context.Background(), change)
+		ch <- outcome{r, err}
+	}()
+	return ch
+}
+
+func (c *cluster) wait(ch <-chan outcome) (o outcome) {
+	c.t.Helper()
+	c.until("the end of a proposal", func() bool {
+		select {
+		case o = <-ch:
+			return true
+		default:
+			return false
+		}
+	})
+	return o
+}
+
+func (c *cluster) contracts(id raft.MemberID) (n int) {
+	assert.NilError(c.t, c.group(id).Query(c.t.Context(), func(s *fleet.State) { n = len(s.Contracts) }))
+	return n
+}
+
+func kindOf(err error) (Kind, raft.Member) {
+	var e *Error
+	if !errors.As(err, &e) {
+		return -1, raft.Member{}
+	}
+	return e.Kind, e.Leader
+}
+
+func others(id raft.MemberID) []raft.MemberID {
+	return slices.DeleteFunc([]raft.MemberID{1, 2, 3}, func(x raft.MemberID) bool { return x == id })
+}
+
+// TestCommit guards against a change that is lost between the members, a
+// follower that accepts proposals, a watch that never fires, and one sync for
+// each proposal of a batch.
+func TestCommit(t *testing.T) {
+	c := newCluster(t)
+	lead := c.leader(1, 2, 3)
+	follower := others(lead)[0]
+	fire, err := c.group(follower).Watch(t.Context(), 0)
+	assert.NilError(t, err)
+
+	var ends []<-chan outcome
+	for i := range 100 {
+		ends = append(ends, c.propose(lead, apply(fmt.Sprint("c", i), "")))
+	}
+	for _, end := range ends {
+		o := c.wait(end)
+		assert.NilError(t, o.err)
+		assert.Equal(t, o.result.Kind, model.ResultApplied)
+	}
+	c.until("the watch", func() bool { return isClosed(fire) })
+	for _, id := range []raft.MemberID{1, 2, 3} {
+		c.until("the state", func() bool { return c.contracts(id) == 100 })
+	}
+	s := c.status(lead)
+	assert.Assert(t, s.Counts.Snapshots > 0)
+	assert.Equal(t, s.Counts.Proposals, int64(100))
+
+	c.until("the leader's name", func() bool { return c.status(follower).Leader.ID == lead })
+	o := c.wait(c.propose(follower, apply("x", "")))
+	kind, leader := kindOf(o.err)
+	assert.Equal(t, kind, KindNotLeader)
+	assert.Equal(t, leader.ID, lead)
+	kind, _ = kindOf(c.group(follower).Read(t.Context()))
+	assert.Equal(t, kind, KindNotLeader)
+	assert.NilError(t, c.group(lead).Read(t.Context()))
+}
+
+// TestBatch guards against a sync for each proposal: those that wait share one.
+func TestBatch(t *testing.T) {
+	c := newCluster(t)
+	lead := c.leader(1, 2, 3)
+	g := c.group(lead)
+	hold, held := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = g.Query(context.Background(), func(*fleet.State) {
+			close(held)
+			<-hold
+		})
+	}()
+	<-held
+	var ends []<-chan outcome
+	for i := range 50 {
+		ends = append(ends, c.propose(lead, apply(fmt.Sprint("c", i), "")))
+	}
+	c.until("50 waiting proposals", func() bool { return g.ring.Len() >= 50 })
+	close(hold)
+	for _, end := range ends {
+		assert.NilError(t, c.wait(end).err)
+	}
+	disk := c.disks[lead]
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	assert.Assert(t, disk.largest >= 50, "the largest write holds %d entries", disk.largest)
+}
+
+// TestLeaderLoss guards against a leader that reports "not applied" for a
+// change whose fate it does not know, against a read on its old state, and
+// against a resend that is applied twice.
+func TestLeaderLoss(t *testing.T) {
+	c := newCluster(t)
+	old := c.leader(1, 2, 3)
+	first := c.wait(c.propose(old, apply("a", "request-1")))
+	assert.NilError(t, first.err)
+
+	c.links.cut(old, true)
+	end := c.propose(old, apply("b", "request-2"))
+	read := make(chan error, 1)
+	go func() { read <- c.group(old).Read(context.Background()) }()
+	lead := c.leader(others(old)...)
+	kind, _ := kindOf(c.wait(end).err)
+	assert.Assert(t, kind == KindUnknown || kind == KindNotLeader)
+	assert.Assert(t, <-read != nil)
+
+	again := c.wait(c.propose(lead, apply("a", "request-1")))
+	assert.NilError(t, again.err)
+	assert.DeepEqual(t, again.result, first.result)
+	assert.NilError(t, c.wait(c.propose(lead, apply("b", "request-2"))).err)
+	c.links.cut(old, false)
+	c.until("the old leader's state", func() bool { return c.contracts(old) == 2 })
+}
+
+// TestDisk guards against a member with a full disk that acknowledges, keeps
+// the leadership, or does not return once there is room.
+func TestDisk(t *testing.T) {
+	c := newCluster(t)
+	bad := c.leader(1, 2, 3)
+	assert.NilError(t, c.wait(c.propose(bad, apply("a", ""))).err)
+	c.disks[bad].broken.Store(true)
+	kind, _ := kindOf(c.wait(c.propose(bad, apply("b", "request-2"))).err)
+	assert.Equal(t, kind, KindUnknown)
+	kind, _ = kindOf(c.wait(c.propose(bad, apply("c", ""))).err)
+	assert.Equal(t, kind, KindDisk)
+
+	lead := c.leader(others(bad)...)
+	assert.NilError(t, c.wait(c.propose(lead, apply("b", "request-2"))).err)
+	c.until("retries", func() bool { return c.status(bad).Counts.DiskFailures > 2 })
+	assert.Assert(t, c.status(bad).Disk != "")
+	assert.Equal(t, c.contracts(bad), 1)
+	c.disks[bad].broken.Store(false)
+	c.until("the return", func() bool { return c.contracts(bad) == 2 && c.status(bad).Disk == "" })
+}
+
+// TestJoin guards against a member with a new identity that is not replaced,
+// caught up by a snapshot and promoted, and against a group that cannot then
+// lose another member.
+func TestJoin(t *testing.T) {
+	c := newCluster(t)
+	lead := c.leader(1, 2, 3)
+	for i := range 60 {
+		assert.NilError(t, c.wait(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
+	}
+	lost := others(lead)[0]
+	name := c.status(lead).Members[lost-1].Name
+	c.group(lost).Stop()
+	<-c.group(lost).Done()
+
+	m := raft.Member{ID: 9, Name: name}
+	c.start(m, &memory{stored: raft.Stored{Self: m}})
+	joined := make(chan error, 1)
+	go func() { joined <- c.group(lead).Join(context.Background(), m) }()
+	c.until("the promotion", func() bool {
+		i := slices.IndexFunc(c.status(lead).Members, func(x raft.Member) bool { return x.ID == 9 && x.Voter })
+		return i >= 0 && len(c.status(lead).Members) == 3
+	})
+	assert.NilError(t, <-joined)
+	c.until("the state", func() bool { return c.contracts(9) == 60 })
+	assert.Equal(t, c.status(9).Counts.Installs, int64(1))
+
+	c.links.cut(others(lead)[1], true)
+	assert.NilError(t, c.wait(c.propose(lead, apply("last", ""))).err)
+}
+
+// TestRestart guards against a member that starts with less than it had
+// acknowledged.
+func TestRestart(t *testing.T) {
+	c := newCluster(t)
+	lead := c.leader(1, 2, 3)
+	for i := range 30 {
+		assert.NilError(t, c.wait(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
+	}
+	for id := range raft.MemberID(3) {
+		c.group(id + 1).Stop()
+		<-c.group(id + 1).Done()
+	}
+	kind, _ := kindOf(c.group(lead).Read(t.Context()))
+	assert.Equal(t, kind, KindStopped)
+	for id := range raft.MemberID(3) {
+		c.start(raft.Member{ID: id + 1}, c.disks[id+1])
+	}
+	lead = c.leader(1, 2, 3)
+	c.until("the state", func() bool { return c.contracts(lead) == 30 })
+}
