--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -123,45 +123,23 @@
 	return answers
 }
 
-// Replacement is a change of the member list that the leader should make.
-type Replacement struct {
-	// Remove is the member whose data folder was lost; 0 for none.
-	Remove raft.MemberID
-	// Add is the process that took its place, as a non-voter; its ID is 0 for
-	// none.
-	Add raft.Member
-}
-
-// Replace compares the members with what the configured processes say of
-// themselves. A process that answers under a configured name with another,
-// uninitialised identity has lost its data folder. At most one member is
-// replaced at a time; the leader that asks leads without the lost member.
-func Replace(members []raft.Member, configured []model.Member, answers []Hello) (Replacement, bool) {
-	held := make(map[model.Process]raft.Member, len(members))
+// Missing returns a configured process that answers under an identity which is
+// not in the member list and was in no group: its data folder was lost, or it
+// is new to the settings. ok is false when there is none.
+func Missing(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
+	listed := make(map[raft.MemberID]bool, len(members))
 	for _, m := range members {
-		held[m.Name] = m
+		listed[m.ID] = true
 	}
-	byName := make(map[model.Process]Hello, len(answers))
+	fresh := answers[:0:0]
 	for _, a := range answers {
-		byName[a.Name] = a
-	}
-	for _, m := range configured {
-		a, ok := byName[m.Name]
-		if !ok || a.ID == 0 {
-			continue
+		if !a.Initialised && !listed[a.ID] {
+			fresh = append(fresh, a)
 		}
-		old, known := held[m.Name]
-		if known && old.ID == a.ID {
-			continue
-		}
-		if a.Initialised {
-			continue
-		}
-		add := raft.Member{ID: a.ID, Name: m.Name, Zone: m.Zone, Address: m.Address}
-		if known {
-			return Replacement{Remove: old.ID, Add: add}, true
-		}
-		return Replacement{Add: add}, true
 	}
-	return Replacement{}, false
+	found := identified(configured, fresh)
+	if len(found) == 0 {
+		return raft.Member{}, false
+	}
+	return found[0], true
 }
--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -8,20 +8,25 @@
 	"camphorridge/core/state/raft"
 )
 
-// keepInterval separates two looks at the member list.
-const keepInterval = clock.Second
+// keepInterval separates two looks at the member list, and joinTimeout bounds
+// one: the old identity counts as gone only after an election timeout.
+const (
+	keepInterval = clock.Second
+	joinTimeout  = 5 * clock.Second
+)
 
 // Membership is what the keeper needs of the group.
 type Membership interface {
-	// Leads reports whether this process leads and in which term.
-	Leads() (term uint64, ok bool)
-	Peers() []raft.PeerStatus
-	Members() []raft.Member
-	ChangeMembers(ctx context.Context, c raft.MemberChange) error
+	// Refresh makes the addresses of the current members known to the senders
+	// and returns the members; leads says that this process leads.
+	Refresh(ctx context.Context) (members []raft.Member, leads bool)
+	// Join adds a member on the leader; it takes the place of the listed member
+	// of that name when that one no longer answers.
+	Join(ctx context.Context, m raft.Member) error
 }
 
-// Keeper is the duty of the leader that replaces members which lost their
-// data folder and promotes members which have caught up.
+// Keeper is the duty that keeps the members' addresses known and, in the
+// leader, adds processes that lost their data folder under their new identity.
 type Keeper[A Asker, M Membership] struct {
 	self       Hello
 	configured []model.Member
@@ -29,15 +34,15 @@
 	group      M
 	clock      clock.Clock
 	done       chan struct{}
-	// Changed is told of each change of the member list.
-	changed func(detail string)
+	// joined is told of each process that was added.
+	joined func(m raft.Member)
 }
 
 // NewKeeper returns a keeper for the configured members.
-func NewKeeper[A Asker, M Membership](self Hello, configured []model.Member, a A, g M, c clock.Clock, changed func(string)) *Keeper[A, M] {
+func NewKeeper[A Asker, M Membership](self Hello, configured []model.Member, a A, g M, c clock.Clock, joined func(raft.Member)) *Keeper[A, M] {
 	return &Keeper[A, M]{
 		self: self, configured: configured, asker: a, group: g, clock: c,
-		done: make(chan struct{}), changed: changed,
+		done: make(chan struct{}), joined: joined,
 	}
 }
 
@@ -46,9 +51,7 @@
 	for {
 		select {
 		case <-k.clock.After(keepInterval):
-			if _, ok := k.group.Leads(); ok {
-				k.look()
-			}
+			k.look()
 		case <-k.done:
 			return nil
 		}
@@ -58,29 +61,17 @@
 // Stop ends Run.
 func (k *Keeper[A, M]) Stop() { close(k.done) }
 
-// look makes at most one change, as the group allows one at a time.
 func (k *Keeper[A, M]) look() {
-	for _, p := range k.group.Peers() {
-		if !p.Member.Voter && p.CaughtUp {
-			k.change(raft.MemberChange{Kind: raft.PromoteMember, Member: p.Member}, "promoted "+string(p.Member.Name))
-			return
-		}
-	}
-	r, ok := Replace(k.group.Members(), k.configured, ask(k.asker, k.self, k.configured))
-	if !ok {
-		return
-	}
-	if r.Remove != 0 {
-		k.change(raft.MemberChange{Kind: raft.RemoveMember, Member: raft.Member{ID: r.Remove}}, "removed the lost identity of "+string(r.Add.Name))
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout.Duration())
+	defer cancel()
+	members, leads := k.group.Refresh(ctx)
+	if !leads {
 		return
 	}
-	k.change(raft.MemberChange{Kind: raft.AddMember, Member: r.Add}, "added "+string(r.Add.Name)+" with a new identity")
-}
-
-func (k *Keeper[A, M]) change(c raft.MemberChange, detail string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*keepInterval.Duration())
-	defer cancel()
-	if k.group.ChangeMembers(ctx, c) == nil {
-		k.changed(detail)
+	self := k.self
+	self.Initialised = true
+	m, ok := Missing(members, k.configured, ask(k.asker, self, k.configured))
+	if ok && k.group.Join(ctx, m) == nil {
+		k.joined(m)
 	}
 }
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -1,9 +1,7 @@
 package group
 
 import (
-	"context"
-	"fmt"
-	"sync/atomic"
+	"sync"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/fleet"
@@ -12,15 +10,22 @@
 	"camphorridge/core/state/ring"
 )
 
-// Storage keeps the log of a member; each method is durable on return.
+// Storage keeps the member's durable state. Every write is synced on return
+// and is repeated with the same arguments after an error.
 type Storage interface {
+	// Save writes the hard state, when given, and then replaces all entries
+	// from entries[0].Index on.
 	Save(hard *raft.HardState, entries []raft.Entry) error
+	// Install replaces the snapshot and the whole log.
 	Install(meta raft.SnapshotMeta, data []byte) error
+	// Snapshot writes a snapshot of the local state and drops the entries that
+	// it contains.
 	Snapshot(meta raft.SnapshotMeta, data []byte) error
+	// ReadSnapshot returns the latest snapshot.
 	ReadSnapshot() (raft.SnapshotMeta, []byte, error)
 }
 
-// Codec encodes what the log and the snapshots hold.
+// Codec maps changes and the state to bytes and back.
 type Codec interface {
 	EncodeChange(model.Change) []byte
 	DecodeChange([]byte) (model.Change, error)
@@ -28,343 +33,206 @@
 	DecodeState([]byte) (*fleet.State, error)
 }
 
-// Kind tells the errors of the package apart.
-type Kind int
-
-// The kinds of error.
-const (
-	KindNotLeader Kind = iota
-	KindUnknown
-	KindStopped
-	KindFull
-)
-
-// Error is the error type of the package.
-type Error struct {
-	Op     string
-	Kind   Kind
-	Err    error
-	Leader raft.Member
-}
-
-func (e *Error) Error() string { return fmt.Sprintf("group: %s: %v", e.Op, e.Err) }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
+// Config sets up the duty. Values below 1 take the smallest sensible value.
+type Config struct {
+	Raft raft.Config
+	// Tick is the time between two looks at the clock; at most half of the
+	// heartbeat interval.
+	Tick clock.Millis
+	// Ring is the number of inputs that may wait.
+	Ring int
+	// MaxWaiting is the number of proposals that may wait for their commit.
+	MaxWaiting int
+	// SnapshotEntries is the number of applied entries between two snapshots.
+	SnapshotEntries uint64
+	// RetryDelay is the time between two tries on a failing disk.
+	RetryDelay clock.Millis
+	// Send passes messages on to the senders. It must not wait: a message that
+	// finds no room is dropped and repeated later.
+	Send func([]raft.Message)
+	// Observe, when set, is called inside the duty after a change of role,
+	// term, leader or disk state. It must not wait.
+	Observe func(Status)
+}
+
+// Group is the duty of one member.
+type Group[S Storage, C Codec] struct {
+	cfg     Config
+	clock   clock.Clock
+	storage S
+	codec   C
+	ring    *ring.Ring[input]
+	stop    chan struct{}
+	once    sync.Once
+	done    chan struct{}
 
-// Status is the state of consensus in this member.
+	// What follows is touched by the duty's goroutine alone.
+	node  *raft.Node
+	state *fleet.State
+	// applied is the index of the last entry applied; it only grows.
+	applied uint64
+	// snapped is the index of the latest snapshot on disk; at most applied.
+	snapped     uint64
+	nextSnap    clock.Millis
+	waiting     map[uint64]waiter
+	reads       map[uint64]chan answer
+	lastRead    uint64
+	joins       []input
+	watchers    []watcher
+	seen        view
+	failed      *raft.Output
+	failure     error
+	retryAt     clock.Millis
+	counts      Counts
+	terminalErr error
+}
+
+// waiter is a proposal that waits for its commit.
+type waiter struct {
+	op    string
+	term  uint64
+	reply chan answer
+}
+
+type watcher struct {
+	after model.Version
+	fire  chan struct{}
+	done  <-chan struct{}
+}
+
+// Counts are counters since the start; they only grow.
+type Counts struct {
+	// Proposals were appended on this member as leader, and Saves is the
+	// number of synced writes that carried them and all else.
+	Proposals int64
+	Saves     int64
+	Applied   int64
+	// DiskFailures counts failed writes, and SnapshotFailures failed local
+	// snapshots and failed reads of one.
+	DiskFailures     int64
+	SnapshotFailures int64
+	Snapshots        int64
+	Installs         int64
+	// Refused counts inputs that found the ring full.
+	Refused int64
+	// Dropped counts peer messages that were ignored while the disk failed.
+	Dropped int64
+	// Invalid counts peer messages that contradicted committed entries.
+	Invalid int64
+	// Unknown counts proposals that ended with an unknown outcome.
+	Unknown int64
+}
+
+// Status is a report of the member.
 type Status struct {
-	Role    raft.Role
-	Term    uint64
-	Commit  uint64
-	Leader  raft.Member
-	Members []raft.Member
+	Self raft.MemberID
+	Role raft.Role
+	Term uint64
+	// Leader has the ID 0 when no leader is known.
+	Leader   raft.Member
+	Commit   uint64
+	Applied  uint64
+	Snapshot uint64
+	Version  model.Version
+	Members  []raft.Member
+	// Peers is set on the leader.
 	Peers   []raft.PeerStatus
+	Waiting int
+	// Disk is the error of the last failed write while the disk fails.
+	Disk   string
+	Counts Counts
 }
 
-const (
-	ringSize  int          = 4096
-	batchSize int          = 512
-	tick      clock.Millis = 20
-)
-
-type input struct {
-	messages []raft.Message
-	change   *model.Change
-	result   chan<- outcome
-	query    func(*fleet.State)
-	member   *raft.MemberChange
-	read     bool
-	await    bool
-	version  model.Version
-}
-
-type outcome struct {
-	result model.Result
-	err    error
-}
-
-type pending struct {
+// view is what the duty last reported and acted on.
+type view struct {
+	role   raft.Role
 	term   uint64
-	result chan<- outcome
-}
-
-// Group is the duty.
-type Group[S Storage, C Codec] struct {
-	storage S
-	codec   C
-	clock   clock.Clock
-	send    func([]raft.Message, []raft.Member)
-	every   uint64
-	in      *ring.Ring[input]
-	done    chan struct{}
-	ended   chan struct{}
-	status  atomic.Pointer[Status]
-
-	node     *raft.Node
-	state    *fleet.State
-	proposed map[uint64]pending
-	reads    map[uint64]chan<- outcome
-	ready    []raft.ReadReady
-	waiters  []input
-	context  uint64
-	snapshot uint64
+	leader raft.MemberID
+	failed bool
 }
 
-// New returns the duty of a member.
-func New[S Storage, C Codec](s S, c C, stored raft.Stored, cfg raft.Config, every int, clk clock.Clock, send func([]raft.Message, []raft.Member)) (*Group[S, C], error) {
+// New returns the duty for a member with the given stored state. The error is
+// of kind disk or corrupt.
+func New[S Storage, C Codec](cfg Config, stored raft.Stored, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
+	cfg.Ring = max(cfg.Ring, 16)
+	cfg.MaxWaiting = max(cfg.MaxWaiting, 1)
+	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
+	cfg.Tick = min(max(cfg.Tick, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
+	cfg.RetryDelay = max(cfg.RetryDelay, 1)
+	if cfg.Send == nil {
+		cfg.Send = func([]raft.Message) {}
+	}
 	g := &Group[S, C]{
-		storage: s, codec: c, clock: clk, send: send, every: uint64(every),
-		in: ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
-		state: fleet.New(), proposed: map[uint64]pending{}, reads: map[uint64]chan<- outcome{},
+		cfg: cfg, clock: clk, storage: storage, codec: codec,
+		ring:    ring.New[input](cfg.Ring),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
+		state:   fleet.New(),
+		applied: stored.Snapshot.Index,
+		snapped: stored.Snapshot.Index,
+		waiting: map[uint64]waiter{},
+		reads:   map[uint64]chan answer{},
 	}
 	if stored.Snapshot.Index > 0 {
-		_, data, err := s.ReadSnapshot()
-		if err != nil {
-			return nil, err
-		}
-		if g.state, err = c.DecodeState(data); err != nil {
+		if err := g.loadSnapshot(stored.Snapshot.Index); err != nil {
 			return nil, err
 		}
-		g.snapshot = stored.Snapshot.Index
 	}
-	g.node = raft.New(cfg, stored, clk.Now())
-	g.publish()
+	g.node = raft.New(cfg.Raft, stored, clk.Now())
 	return g, nil
 }
 
-func (g *Group[S, C]) publish() {
-	s := Status{
-		Role: g.node.Role(), Term: g.node.Term(), Commit: g.node.Commit(),
-		Members: g.node.Members(), Peers: g.node.Peers(),
+func (g *Group[S, C]) loadSnapshot(index uint64) error {
+	meta, data, err := g.storage.ReadSnapshot()
+	if err != nil {
+		return failf("start", KindDisk, "read the snapshot: %w", err)
 	}
-	for _, m := range s.Members {
-		if m.ID == g.node.Leader() {
-			s.Leader = m
-		}
+	if meta.Index != index {
+		return failf("start", KindCorrupt, "the snapshot is at index %d, not %d", meta.Index, index)
+	}
+	if g.state, err = g.codec.DecodeState(data); err != nil {
+		return failf("start", KindCorrupt, "decode the snapshot at index %d: %w", index, err)
 	}
-	g.status.Store(&s)
+	return nil
 }
 
-// Status returns the state of consensus.
-func (g *Group[S, C]) Status() Status { return *g.status.Load() }
-
-// Run drives the member until Stop.
+// Run is the duty. It returns nil after Stop, or an error of kind corrupt when
+// a committed entry cannot be decoded: a member that skipped it would differ
+// from the others.
 func (g *Group[S, C]) Run() error {
-	defer close(g.ended)
-	timer := g.clock.After(tick)
-	var buf []input
-	for {
+	defer close(g.done)
+	defer g.abandon()
+	tick := g.clock.After(g.cfg.Tick)
+	batch := make([]input, 0, g.cfg.Ring)
+	for g.terminalErr == nil {
 		select {
-		case i := <-g.in.C():
-			buf = g.in.Drain(append(buf[:0], i), batchSize)
-			for _, i := range buf {
-				g.handle(i)
-			}
-		case <-timer:
-			timer = g.clock.After(tick)
-			g.node.Tick(g.clock.Now())
-		case <-g.done:
+		case <-g.stop:
 			return nil
-		}
-		if err := g.drive(); err != nil {
-			return err
-		}
-		g.publish()
-	}
-}
-
-// Stop ends Run.
-func (g *Group[S, C]) Stop() { close(g.done) }
-
-func (g *Group[S, C]) handle(i input) {
-	now := g.clock.Now()
-	switch {
-	case i.messages != nil:
-		for _, m := range i.messages {
-			_ = g.node.Step(m, now)
-		}
-	case i.change != nil:
-		c := *i.change
-		c.Time = now
-		index, term, err := g.node.Propose(g.codec.EncodeChange(c), now)
-		if err != nil {
-			i.result <- outcome{err: g.notLeader("propose", err)}
-			return
-		}
-		g.proposed[index] = pending{term: term, result: i.result}
-	case i.member != nil:
-		_, _, err := g.node.ChangeMembers(*i.member, now)
-		i.result <- outcome{err: err}
-	case i.query != nil:
-		i.query(g.state)
-		i.result <- outcome{}
-	case i.read:
-		g.context++
-		if err := g.node.Read(g.context, now); err != nil {
-			i.result <- outcome{err: g.notLeader("read", err)}
-			return
-		}
-		g.reads[g.context] = i.result
-	case i.await:
-		g.waiters = append(g.waiters, i)
-	}
-}
-
-func (g *Group[S, C]) notLeader(op string, err error) error {
-	return &Error{Op: op, Kind: KindNotLeader, Err: err, Leader: g.Status().Leader}
-}
-
-func (g *Group[S, C]) drive() error {
-	for {
-		out := g.node.Output()
-		if out.Empty() {
-			break
-		}
-		if out.Install != nil {
-			if err := g.storage.Install(*out.Install, out.InstallData); err != nil {
-				return err
-			}
-			s, err := g.codec.DecodeState(out.InstallData)
-			if err != nil {
-				return err
+		case in := <-g.ring.C():
+			batch = g.ring.Drain(append(batch[:0], in), g.cfg.Ring)
+			for _, in := range batch {
+				g.take(in)
 			}
-			g.state = s
-			g.snapshot = out.Install.Index
-		}
-		if out.Hard != nil || len(out.Append) > 0 {
-			if err := g.storage.Save(out.Hard, out.Append); err != nil {
-				return err
-			}
-		}
-		g.node.Persisted()
-		g.send(out.Messages, g.node.Members())
-		for _, e := range out.Committed {
-			g.apply(e)
-		}
-		g.ready = append(g.ready, out.Reads...)
-		for _, id := range out.NeedSnapshot {
-			if meta, data, err := g.storage.ReadSnapshot(); err == nil {
-				g.node.ProvideSnapshot(id, meta, data)
-			}
-		}
-	}
-	g.settle()
-	return g.compact()
-}
-
-func (g *Group[S, C]) apply(e raft.Entry) {
-	var r model.Result
-	if e.Kind == raft.EntryChange {
-		if c, err := g.codec.DecodeChange(e.Data); err == nil {
-			r = g.state.Apply(model.Version(e.Index), c)
-		}
-	}
-	g.state.Index = model.Version(e.Index)
-	if p, ok := g.proposed[e.Index]; ok {
-		delete(g.proposed, e.Index)
-		if p.term == e.Term {
-			p.result <- outcome{result: r}
-		} else {
-			p.result <- outcome{err: &Error{Op: "propose", Kind: KindUnknown, Err: fmt.Errorf("another leader's change took its place")}}
-		}
-	}
-}
-
-func (g *Group[S, C]) settle() {
-	if g.node.Role() != raft.RoleLeader {
-		for i, p := range g.proposed {
-			delete(g.proposed, i)
-			p.result <- outcome{err: &Error{Op: "propose", Kind: KindUnknown, Err: fmt.Errorf("the leader lost its term")}}
-		}
-		for i, r := range g.reads {
-			delete(g.reads, i)
-			r <- outcome{err: g.notLeader("read", fmt.Errorf("the leader lost its term"))}
-		}
-	}
-	for _, r := range g.ready {
-		if ch, ok := g.reads[r.Context]; ok {
-			delete(g.reads, r.Context)
-			ch <- outcome{}
-		}
-	}
-	g.ready = nil
-	kept := g.waiters[:0]
-	for _, w := range g.waiters {
-		if g.state.Version > w.version {
-			w.result <- outcome{}
-			continue
+			clear(batch)
+		case <-tick:
+			tick = g.clock.After(g.cfg.Tick)
+			g.tick()
 		}
-		kept = append(kept, w)
-	}
-	g.waiters = kept
-}
-
-func (g *Group[S, C]) compact() error {
-	index := uint64(g.state.Index)
-	if index < g.snapshot+g.every {
-		return nil
-	}
-	meta, ok := g.node.Meta(index)
-	if !ok {
-		return nil
-	}
-	if err := g.storage.Snapshot(meta, g.codec.EncodeState(g.state)); err != nil {
-		return err
-	}
-	g.node.Compact(meta)
-	g.snapshot = index
-	return nil
-}
-
-func (g *Group[S, C]) call(ctx context.Context, op string, i input) (model.Result, error) {
-	ch := make(chan outcome, 1)
-	i.result = ch
-	if !g.in.Put(i) {
-		return model.Result{}, &Error{Op: op, Kind: KindFull, Err: fmt.Errorf("%d requests wait", ringSize)}
-	}
-	select {
-	case o := <-ch:
-		return o.result, o.err
-	case <-ctx.Done():
-		return model.Result{}, &Error{Op: op, Kind: KindUnknown, Err: ctx.Err()}
-	case <-g.ended:
-		return model.Result{}, &Error{Op: op, Kind: KindStopped, Err: fmt.Errorf("the duty has ended")}
+		g.flush()
 	}
+	return g.terminalErr
 }
 
-// Propose hands in a change and waits until it was applied.
-func (g *Group[S, C]) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	return g.call(ctx, "propose", input{change: &c})
-}
-
-// Read returns once a read that starts now may be answered.
-func (g *Group[S, C]) Read(ctx context.Context) error {
-	_, err := g.call(ctx, "read", input{read: true})
-	return err
-}
+// Stop ends the duty; it does not wait. It may be called more than once.
+func (g *Group[S, C]) Stop() { g.once.Do(func() { close(g.stop) }) }
 
-// Query runs f on the state.
-func (g *Group[S, C]) Query(ctx context.Context, f func(*fleet.State)) error {
-	_, err := g.call(ctx, "query", input{query: f})
-	return err
-}
+// Done is closed when the duty has ended.
+func (g *Group[S, C]) Done() <-chan struct{} { return g.done }
 
-// Await returns once the table's version is above v or ctx has ended.
-func (g *Group[S, C]) Await(ctx context.Context, v model.Version) {
-	_, _ = g.call(ctx, "await", input{await: true, version: v})
-}
-
-// Step passes messages of other members on.
-func (g *Group[S, C]) Step(ctx context.Context, all []raft.Message) error {
-	if !g.in.Put(input{messages: all}) {
-		return &Error{Op: "step", Kind: KindFull, Err: fmt.Errorf("%d requests wait", ringSize)}
+// abandon answers everyone who still waits.
+func (g *Group[S, C]) abandon() {
+	g.failWaiting("the member stopped")
+	for _, in := range g.ring.Drain(nil, g.cfg.Ring) {
+		in.answer(answer{err: failf(in.op, KindStopped, "the member stopped")})
 	}
-	return nil
-}
-
-// ChangeMembers makes one change of the member list.
-func (g *Group[S, C]) ChangeMembers(ctx context.Context, c raft.MemberChange) error {
-	_, err := g.call(ctx, "change members", input{member: &c})
-	return err
 }
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -20,7 +20,7 @@
 }
 
 // Step passes messages to the consensus duty.
-func (s *ConsensusServer[G]) Step(ctx context.Context, r *wirepb.StepRequest) (*wirepb.StepResponse, error) {
+func (s *ConsensusServer[G]) Step(_ context.Context, r *wirepb.StepRequest) (*wirepb.StepResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	all := make([]raft.Message, 0, len(r.GetMessages()))
 	for _, w := range r.GetMessages() {
@@ -30,7 +30,7 @@
 		}
 		all = append(all, m)
 	}
-	if err := s.Group.Step(ctx, all); err != nil {
+	if err := s.Group.Step(all); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	return &wirepb.StepResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -28,7 +28,7 @@
 	Query(ctx context.Context, f func(*fleet.State)) error
 	// Await returns once the table's version is above v, or ctx has ended.
 	Await(ctx context.Context, v model.Version)
-	Step(ctx context.Context, all []raft.Message) error
+	Step(all []raft.Message) error
 	Status() GroupStatus
 	// Hello says who this process is.
 	Hello() boot.Hello
@@ -36,9 +36,8 @@
 
 // GroupStatus is the state of consensus in one member.
 type GroupStatus struct {
-	Role   raft.Role
-	Term   uint64
-	Commit uint64
+	Role raft.Role
+	Term uint64
 	// Leader is the known leader; its ID is 0 while there is none.
 	Leader raft.Member
 }
@@ -201,7 +200,7 @@
 	st := s.Group.Status()
 	w := &wirepb.StatusResponse{
 		Member: string(s.Self.Name), Leader: string(st.Leader.Name), Role: st.Role.String(),
-		Term: st.Term, Commit: st.Commit, NowMs: int64(s.Clock.Now()),
+		Term: st.Term, NowMs: int64(s.Clock.Now()),
 	}
 	if err := s.Group.Query(ctx, func(f *fleet.State) { fillObjects(w, f) }); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
@@ -217,6 +216,7 @@
 }
 
 func fillObjects(w *wirepb.StatusResponse, f *fleet.State) {
+	w.Commit = uint64(f.Index)
 	w.Version = uint64(f.Version)
 	for _, c := range f.Contracts {
 		w.Contracts = append(w.Contracts, codec.ContractToWire(c))
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"context"
 	"io"
 
 	"github.com/charmbracelet/log"
@@ -8,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"camphorridge/core/coord/boot"
+	"camphorridge/core/coord/group"
 	"camphorridge/core/coord/mover"
 	"camphorridge/core/coord/record"
 	"camphorridge/core/state/clock"
@@ -94,9 +96,9 @@
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
-	c.member = newSeat(hello)
-	c.keeper = boot.NewKeeper(hello, cfg.Controls, c.client, c.member, clk, func(detail string) {
-		c.record(model.Event{Kind: model.EventRole, Detail: detail})
+	c.member = newSeat(hello, c.senders)
+	c.keeper = boot.NewKeeper(hello, cfg.Controls, c.client, c.member, clk, func(m raft.Member) {
+		c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " under a new identity"})
 	})
 	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
 		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
@@ -175,7 +177,19 @@
 	})
 	counters(r, usage(c.client.Traffic))
 	_ = admin.Value(r, "term", func() int64 { return int64(c.member.Status().Term) })
-	_ = admin.Value(r, "commit-index", func() int64 { return int64(c.member.Status().Commit) })
+	_ = admin.Value(r, "commit-index", func() int64 { return int64(c.member.ask(context.Background()).Commit) })
+	consensusCount := func(f func(group.Counts) int64) func() int64 {
+		return func() int64 { return f(c.member.ask(context.Background()).Counts) }
+	}
+	counters(r, []counter{
+		{"proposals", consensusCount(func(n group.Counts) int64 { return n.Proposals })},
+		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.Saves })},
+		{"log-write-failures", consensusCount(func(n group.Counts) int64 { return n.DiskFailures })},
+		{"snapshots", consensusCount(func(n group.Counts) int64 { return n.Snapshots })},
+		{"snapshot-failures", consensusCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
+		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.Unknown })},
+		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.Refused })},
+	})
 	_ = admin.Value(r, "leader", func() int64 {
 		if _, ok := c.member.Leads(); ok {
 			return 1
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"fmt"
 	"hash/fnv"
 
 	"camphorridge/core/coord/boot"
@@ -52,7 +53,7 @@
 		}
 	}
 	c.senders.Members(stored.Snapshot.Members)
-	d, err := group.New(c.disk, codec.Codec{}, stored, f.config(), c.cfg.Consensus.SnapshotEvery, c.clock, f.send)
+	d, err := group.New(f.config(), stored, c.disk, codec.Codec{}, c.clock)
 	if err != nil {
 		return &Error{Op: "start consensus", Kind: KindStore, Err: err}
 	}
@@ -99,18 +100,41 @@
 	return nil
 }
 
-func (f *formation) config() raft.Config {
+// Sizes of the consensus duty.
+const (
+	consensusTick              = 20 * clock.Millis(1)
+	consensusRing              = 4096
+	maxWaiting                 = 4096
+	diskRetry     clock.Millis = 500
+)
+
+func (f *formation) config() group.Config {
 	c := f.c.cfg.Consensus
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(f.c.cfg.Name))
-	return raft.Config{
-		ElectionTimeout: c.ElectionMillis, HeartbeatInterval: c.HeartbeatMillis,
-		MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
-		Seed: h.Sum64() + uint64(clock.Real().Now()),
+	return group.Config{
+		Raft: raft.Config{
+			ElectionTimeout: c.ElectionMillis, HeartbeatInterval: c.HeartbeatMillis,
+			MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
+			Seed: h.Sum64() + uint64(f.c.clock.Now()),
+		},
+		Tick: consensusTick, Ring: consensusRing, MaxWaiting: maxWaiting,
+		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetry,
+		Send: f.c.senders.Send, Observe: f.observe,
 	}
 }
 
-func (f *formation) send(all []raft.Message, members []raft.Member) {
-	f.c.senders.Members(members)
-	f.c.senders.Send(all)
+// observe adds changes of role and disk to the time line. The duty calls it.
+func (f *formation) observe(s group.Status) {
+	before := f.c.member.last.Load()
+	f.c.member.observe(s)
+	if before == nil || before.Role != s.Role || before.Term != s.Term {
+		f.c.record(model.Event{
+			Kind: model.EventRole, Version: model.Version(s.Term),
+			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
+		})
+	}
+	if s.Disk != "" && (before == nil || before.Disk == "") {
+		f.c.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.Disk})
+	}
 }
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -5,34 +5,37 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"camphorridge/core/coord/boot"
 	"camphorridge/core/coord/group"
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/fleet"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
 	"camphorridge/io/trans/peers"
 )
 
+// statusTimeout bounds a question to the consensus duty.
+const statusTimeout = clock.Second
+
 // seat is the consensus duty as the servers and the mover see it. Until the
 // group is formed it answers who this process is and refuses everything else.
 type seat struct {
-	self boot.Hello
+	self    boot.Hello
+	senders *peers.Senders
+	// last is the duty's latest report; nil before the first.
+	last atomic.Pointer[group.Status]
 	mu   sync.Mutex
 	duty *consensus
-	// formed is closed once duty is set.
-	formed chan struct{}
 }
 
-func newSeat(self boot.Hello) *seat {
-	return &seat{self: self, formed: make(chan struct{})}
-}
+func newSeat(self boot.Hello, s *peers.Senders) *seat { return &seat{self: self, senders: s} }
 
 func (m *seat) set(d *consensus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.duty = d
-	close(m.formed)
 }
 
 func (m *seat) get() (*consensus, error) {
@@ -44,16 +47,51 @@
 	return m.duty, nil
 }
 
+// observe takes a report of the duty, which calls it after each change of
+// role, term or leader.
+func (m *seat) observe(s group.Status) {
+	m.last.Store(&s)
+	m.senders.Members(s.Members)
+}
+
+// ask asks the duty for a report; the zero report stands for no answer.
+func (m *seat) ask(ctx context.Context) group.Status {
+	d, err := m.get()
+	if err != nil {
+		return group.Status{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
+	defer cancel()
+	s, err := d.Status(ctx)
+	if err != nil {
+		return group.Status{}
+	}
+	m.observe(s)
+	return s
+}
+
+// Refresh makes the members' addresses known to the senders.
+func (m *seat) Refresh(ctx context.Context) ([]raft.Member, bool) {
+	s := m.ask(ctx)
+	return s.Members, s.Role == raft.RoleLeader
+}
+
+// Join adds a member.
+func (m *seat) Join(ctx context.Context, x raft.Member) error {
+	d, err := m.get()
+	if err != nil {
+		return err
+	}
+	m.senders.Members([]raft.Member{x})
+	return d.Join(ctx, x)
+}
+
 // Hello says who this process is. It counts as initialised once it has a
 // member list.
 func (m *seat) Hello() boot.Hello {
 	h := m.self
-	d, err := m.get()
-	if err != nil {
-		return h
-	}
-	members := d.Status().Members
-	h.Initialised = len(members) > 0
+	members := m.ask(context.Background()).Members
+	h.Initialised = h.Initialised || len(members) > 0
 	for _, x := range members {
 		if !x.Voter {
 			return h
@@ -91,23 +129,42 @@
 	return d.Query(ctx, f)
 }
 
+// Await returns once the table's version is above v or ctx has ended.
+func (m *seat) Await(ctx context.Context, v model.Version) {
+	d, err := m.get()
+	if err != nil {
+		<-ctx.Done()
+		return
+	}
+	fired, err := d.Watch(ctx, v)
+	if err != nil {
+		return
+	}
+	select {
+	case <-fired:
+	case <-d.Done():
+	case <-ctx.Done():
+	}
+}
+
 // Step passes messages of other members on.
-func (m *seat) Step(ctx context.Context, all []raft.Message) error {
+func (m *seat) Step(all []raft.Message) error {
 	d, err := m.get()
 	if err != nil {
 		return err
 	}
-	return d.Step(ctx, all)
+	d.Step(all)
+	return nil
 }
 
-// Status is the state of consensus in this process.
+// Status is the state of consensus in this process, as of the duty's latest
+// report.
 func (m *seat) Status() peers.GroupStatus {
-	d, err := m.get()
-	if err != nil {
+	s := m.last.Load()
+	if s == nil {
 		return peers.GroupStatus{}
 	}
-	s := d.Status()
-	return peers.GroupStatus{Role: s.Role, Term: s.Term, Commit: s.Commit, Leader: s.Leader}
+	return peers.GroupStatus{Role: s.Role, Term: s.Term, Leader: s.Leader}
 }
 
 // Leads reports whether this process leads and in which term.
@@ -135,38 +192,3 @@
 	}
 	return err
 }
-
-// Await returns once the table's version is above v or ctx has ended.
-func (m *seat) Await(ctx context.Context, v model.Version) {
-	d, err := m.get()
-	if err != nil {
-		<-ctx.Done()
-		return
-	}
-	d.Await(ctx, v)
-}
-
-// Peers is what the leader knows of the other members.
-func (m *seat) Peers() []raft.PeerStatus {
-	if d, err := m.get(); err == nil {
-		return d.Status().Peers
-	}
-	return nil
-}
-
-// Members is the member list in force.
-func (m *seat) Members() []raft.Member {
-	if d, err := m.get(); err == nil {
-		return d.Status().Members
-	}
-	return nil
-}
-
-// ChangeMembers makes one change of the member list.
-func (m *seat) ChangeMembers(ctx context.Context, c raft.MemberChange) error {
-	d, err := m.get()
-	if err != nil {
-		return err
-	}
-	return d.ChangeMembers(ctx, c)
-}
