Add place: tasks on workers under leases, quotas and budgets

Cause: work has to start where it fits, urgent work first, although declared sizes are wrong, workers break and messages are lost. Change: package place with learnt sizes, an index of free room, the ladder of checkpoint, throttle and stop within the teams' budgets, leases with numbered attempts, workers set aside by comparison with peers; the heap moves from maint to its own package.

--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/heap"
 	"camphorridge/core/state/model"
 )
 
@@ -38,7 +39,7 @@
 	closed map[model.Pool][]Outage
 	// opened holds the start of each outage that lasts.
 	opened map[model.InstanceID]clock.Millis
-	due    Heap[due]
+	due    heap.Heap[due]
 	// wakes holds the earliest time in due for each pool and wave.
 	wakes map[string]clock.Millis
 	// pruned is when outages were last dropped.
--- /dev/null
+++ b/core/state/place/judge.go
@@ -0,0 +1,120 @@
+package place
+
+import (
+	"fmt"
+	"math"
+)
+
+// Evidence is what is known of a run that ended, for the judgement of its
+// worker.
+type Evidence struct {
+	Failed bool
+	// Tasks of the same class failed last on Fails of Peers other workers.
+	Fails int
+	Peers int
+}
+
+// Judge is the policy that says how much a run counts against its worker. A
+// worker whose sum reaches the limit is set aside; the sum never falls
+// below 0.
+type Judge interface {
+	Weigh(Evidence) float64
+	Limit() float64
+}
+
+// Trust is the baseline: it sets no worker aside.
+type Trust struct{}
+
+// Weigh returns 0.
+func (Trust) Weigh(Evidence) float64 { return 0 }
+
+// Limit is never reached.
+func (Trust) Limit() float64 { return math.Inf(1) }
+
+// Streak sets a worker aside after N failures in a row, whatever they ran.
+type Streak struct {
+	N int
+}
+
+// Weigh counts failures; a success takes all of them back.
+func (j Streak) Weigh(e Evidence) float64 {
+	if e.Failed {
+		return 1
+	}
+	return math.Inf(-1)
+}
+
+// Limit is N.
+func (j Streak) Limit() float64 { return float64(j.N) }
+
+// Peers compares each failure with how the class fares on other workers: the
+// weight is the log of how much likelier a broken worker explains it. A class
+// that fails everywhere weighs nothing.
+type Peers struct {
+	// Least is the sum at which a worker is set aside.
+	Least float64
+}
+
+// brokenRate is the share of runs that a broken worker is taken to fail.
+const brokenRate = 0.95
+
+// Weigh returns the log of the likelihood ratio. The class's failure rate
+// starts at one in ten while nothing is known of it.
+func (j Peers) Weigh(e Evidence) float64 {
+	rate := min((float64(e.Fails)+0.5)/(float64(e.Peers)+5), brokenRate)
+	if e.Failed {
+		return math.Log(brokenRate / rate)
+	}
+	return math.Log((1 - brokenRate) / max(1-rate, 1-brokenRate))
+}
+
+// Limit is Least.
+func (j Peers) Limit() float64 { return j.Least }
+
+// record is how a class fared on its latest workers.
+type record struct {
+	last  map[WorkerID]bool
+	order []WorkerID
+	fails int
+}
+
+// keptWorkers bounds the workers that a class is remembered on.
+const keptWorkers = 64
+
+func (r *record) note(w WorkerID, failed bool) {
+	if was, ok := r.last[w]; ok {
+		if was {
+			r.fails--
+		}
+	} else {
+		r.order = append(r.order, w)
+	}
+	r.last[w] = failed
+	if failed {
+		r.fails++
+	}
+	if len(r.order) > keptWorkers {
+		old := r.order[0]
+		r.order = r.order[1:]
+		if r.last[old] {
+			r.fails--
+		}
+		delete(r.last, old)
+	}
+}
+
+// evidence describes a run on w next to the class's runs on other workers.
+func (r *record) evidence(w WorkerID, failed bool) Evidence {
+	e := Evidence{Failed: failed, Fails: r.fails, Peers: len(r.last)}
+	if was, ok := r.last[w]; ok {
+		e.Peers--
+		if was {
+			e.Fails--
+		}
+	}
+	return e
+}
+
+func (w *worker) reason(limit float64) string {
+	return fmt.Sprintf("%d runs failed in a row that its peers run; weight %.1f of %.1f", w.streak, w.weight, limit)
+}
--- /dev/null
+++ b/core/state/place/place_test.go
@@ -0,0 +1,292 @@
+package place
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// audit keeps its own account of disruptions from the actions alone.
+type audit struct {
+	out   map[TaskID]bool
+	spent map[model.Customer][]expense
+	start map[TaskID]clock.Millis
+}
+
+func (a *audit) check(t rapid.TB, tasks map[TaskID]Task, contracts map[model.Customer]model.Contract, set Settings, plan Plan, now clock.Millis) {
+	for _, x := range plan.Actions {
+		team := tasks[x.Task].Team
+		c := contracts[team]
+		cost := map[ActionKind]clock.Millis{
+			ActionCheckpoint: set.CheckpointMillis, ActionThrottle: set.ThrottleMillis, ActionStop: now - a.start[x.Task],
+		}[x.Kind]
+		switch {
+		case x.Kind == ActionRenew:
+			continue
+		case x.Kind == ActionStart:
+			a.start[x.Task] = now
+			delete(a.out, x.Task)
+			continue
+		case x.Percent == 100:
+			delete(a.out, x.Task)
+			continue
+		case x.Reason == "cancelled" || strings.HasPrefix(x.Reason, "it still"):
+			continue
+		case a.out[x.Task]:
+			continue // asked again
+		}
+		a.out[x.Task] = true
+		a.spent[team] = append(a.spent[team], expense{now, cost})
+		n, sum := 0, clock.Millis(0)
+		for id := range a.out {
+			if tasks[id].Team == team {
+				n++
+			}
+		}
+		for _, e := range a.spent[team] {
+			if e.at > now-c.WindowMillis {
+				sum += e.cost
+			}
+		}
+		if n > c.MaxUnavailable || sum > c.BudgetMillis {
+			t.Fatalf("%s: %d of %d disrupted, %d of %d ms spent by %v", team, n, c.MaxUnavailable, sum, c.BudgetMillis, x)
+		}
+	}
+}
+
+// Guards against a task on two workers at once, an overspent quota or
+// disruption budget, and tasks that are forgotten, with lost and late
+// messages, cut workers, wrong declarations, urgent work and cancellations.
+func TestPlacementUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
+		f.delay, f.drop = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "drop")
+		b := NewBoard(BestFit{}, NewQuantile(90), Peers{Least: 6}, Defaults())
+		f.fill(b)
+		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
+		for k := range 2 {
+			c := teamContract(k, rapid.IntRange(4000, 40000).Draw(t, "quota"))
+			b.SetContract(c)
+			contracts[c.Customer] = c
+		}
+		a := &audit{out: map[TaskID]bool{}, spent: map[model.Customer][]expense{}, start: map[TaskID]clock.Millis{}}
+		off := rapid.IntRange(20, 200).Draw(t, "off")
+		var accepted []TaskID
+		faulty := map[TaskID]bool{}
+		for step := range 4000 {
+			if step < 150 && f.rnd.IntN(3) == 0 {
+				x := f.add(step%2, step, 500+f.rnd.IntN(4)*1000, clock.Millis(1+f.rnd.IntN(20))*clock.Second, off)
+				x.Urgent = f.rnd.IntN(10) == 0
+				f.work[x.ID].fails = f.rnd.IntN(20) == 0
+				faulty[x.ID] = f.work[x.ID].fails
+				tasks[x.ID] = x
+				if b.Submit(x) == nil {
+					accepted = append(accepted, x.ID)
+				}
+			}
+			if step == 100 {
+				b.Cancel(accepted[:len(accepted)/3]...)
+			}
+			for _, id := range sortedKeys(f.workers) {
+				f.workers[id].cut = step < 300 && (f.workers[id].cut != (f.rnd.IntN(60) == 0))
+			}
+			plan := b.Pass(f.now)
+			for id := range a.out {
+				if b.tasks[id].phase == PhaseOver {
+					delete(a.out, id)
+				}
+			}
+			a.check(t, tasks, contracts, b.set, plan, f.now)
+			for _, x := range plan.Actions {
+				if team := tasks[x.Task].Team; x.Kind == ActionStart && x.Size.MilliCores > contracts[team].Quota.MilliCores {
+					t.Fatalf("%v exceeds the quota of %s", x, team)
+				}
+			}
+			for _, g := range plan.GivenUp {
+				if !faulty[g.Task] {
+					t.Fatalf("given up: %v", g)
+				}
+			}
+			assert.Equal(t, len(Carry(f, plan.Actions)), 0)
+			tick(f, b, 500)
+			if step > 300 && !slices.ContainsFunc(accepted, func(id TaskID) bool { return b.tasks[id].phase != PhaseOver }) {
+				break
+			}
+		}
+		if len(f.violations) > 0 {
+			t.Fatal(f.violations[0])
+		}
+		for _, id := range accepted {
+			if b.tasks[id].phase != PhaseOver {
+				t.Fatalf("%s is not over: %+v", id, *b.tasks[id])
+			}
+		}
+	})
+}
+
+// Guards against the start of a task beyond its team's quota.
+func TestQuotaHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
+		b := NewBoard(WorstFit{}, Declared{}, Trust{}, Defaults())
+		f.fill(b)
+		quota := rapid.IntRange(1000, 30000).Draw(t, "quota")
+		b.SetContract(teamContract(0, quota))
+		for n := range 40 {
+			_ = b.Submit(f.add(0, n, 500+f.rnd.IntN(3000), 5*clock.Second, 100))
+		}
+		for range 60 {
+			for _, id := range sortedKeys(f.workers) {
+				b.Heard(id, 0, nil)
+			}
+			plan := b.Pass(f.now)
+			if used := b.teams["team0"].used.MilliCores; used > quota {
+				t.Fatalf("%d of %d in use", used, quota)
+			}
+			Carry(f, plan.Actions)
+			tick(f, b, 500)
+		}
+	})
+}
+
+// Guards against impossible work that waits in place of being refused, and
+// against refusals without figures.
+func TestImpossibleWorkIsRefused(t *testing.T) {
+	f := newFake(1, 3)
+	b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	f.fill(b)
+	b.SetContract(teamContract(0, 20000))
+	for _, c := range []struct {
+		task Task
+		kind Kind
+		has  string
+	}{
+		{f.add(0, 1, 17000, 1, 100), KindImpossible, "17000"},
+		{f.add(0, 2, 21000, 1, 100), KindQuota, "20000"},
+		{f.add(9, 3, 1000, 1, 100), KindTeam, "team9"},
+	} {
+		var e *Error
+		err := b.Submit(c.task)
+		assert.Assert(t, errors.As(err, &e))
+		assert.Equal(t, e.Kind, c.kind)
+		assert.ErrorContains(t, err, c.has)
+	}
+	x := f.add(0, 4, 1000, 1, 100)
+	assert.NilError(t, b.Submit(x))
+	assert.ErrorContains(t, b.Submit(x), "submitted before")
+}
+
+// ladderKinds fills one worker and returns how room is made for urgent work.
+func ladderKinds(t *testing.T, most int, budget clock.Millis) (kinds []ActionKind, limit Limit) {
+	f := newFake(1, 1)
+	b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	f.fill(b)
+	c := teamContract(0, 64000)
+	c.MaxUnavailable, c.BudgetMillis = most, budget
+	b.SetContract(c)
+	b.SetContract(teamContract(1, 64000))
+	for n := range 4 {
+		assert.NilError(t, b.Submit(f.add(0, n, 4000, clock.Hour, 100)))
+	}
+	b.Heard("w0000", 0, nil)
+	b.Pass(f.now)
+	urgent := f.add(1, 9, 12000, clock.Second, 100)
+	urgent.Urgent = true
+	assert.NilError(t, b.Submit(urgent))
+	b.Heard("w0000", 0, nil)
+	plan := b.Pass(f.now + 10*clock.Second)
+	for _, a := range plan.Actions {
+		if a.Kind != ActionRenew {
+			kinds = append(kinds, a.Kind)
+		}
+	}
+	if len(plan.Waits) > 0 {
+		limit = plan.Waits[0].Limit
+	}
+	return kinds, limit
+}
+
+// Guards against a step of the ladder that is used before a milder one, and
+// against disruptions beyond the budget.
+func TestLadderOrderAndBudget(t *testing.T) {
+	kinds, _ := ladderKinds(t, 4, clock.Hour)
+	assert.DeepEqual(t, kinds, []ActionKind{ActionCheckpoint, ActionCheckpoint, ActionThrottle, ActionStop})
+	kinds, limit := ladderKinds(t, 2, clock.Hour)
+	assert.Equal(t, len(kinds), 0)
+	assert.Equal(t, limit, LimitBudget)
+	kinds, _ = ladderKinds(t, 4, 12*clock.Second)
+	assert.Equal(t, len(kinds), 0)
+}
+
+// Guards against a worker that fails everything and keeps getting work, and
+// against workers condemned for tasks that fail everywhere.
+func TestBadWorkersAndBadTasks(t *testing.T) {
+	lost, aside := judged(Peers{Least: 6}, 1, true, false)
+	assert.DeepEqual(t, aside, []WorkerID{"w0003"})
+	assert.Assert(t, lost <= 8, "%d tasks were lost to the bad worker", lost)
+	_, aside = judged(Peers{Least: 6}, 1, false, true)
+	assert.Equal(t, len(aside), 0)
+}
+
+// Guards against workers that stay set aside for a task which turned out to
+// fail everywhere, under a policy that does not compare with peers.
+func TestGivenUpTaskTakesBlameBack(t *testing.T) {
+	f := newFake(1, 4)
+	set := Defaults()
+	set.AsidePercent = 100
+	b := NewBoard(BestFit{}, Declared{}, Streak{N: 1}, set)
+	f.fill(b)
+	b.SetContract(teamContract(0, 64000))
+	x := f.add(0, 1, 1000, clock.Second, 100)
+	f.work[x.ID].fails = true
+	assert.NilError(t, b.Submit(x))
+	given, aside := 0, 0
+	for range 200 {
+		plan := b.Pass(f.now)
+		given, aside = given+len(plan.GivenUp), aside+len(plan.Aside)
+		Carry(f, plan.Actions)
+		tick(f, b, 500)
+	}
+	assert.Equal(t, given, 1)
+	assert.Equal(t, aside, 3)
+	assert.Equal(t, len(b.aside), 0)
+}
+
+// judged runs 300 tasks on 12 workers, one of which fails everything it is
+// given, or with one class in four that fails everywhere. It returns the runs
+// lost to the worker and the workers that were set aside.
+func judged[J Judge](j J, seed uint64, badWorker, badClass bool) (lost int, aside []WorkerID) {
+	f := newFake(seed, 12)
+	b := NewBoard(WorstFit{}, NewQuantile(90), j, Defaults())
+	f.fill(b)
+	for k := range 4 {
+		b.SetContract(teamContract(k, 1<<20))
+	}
+	f.workers["w0003"].bad = badWorker
+	for n := range 300 {
+		x := f.add(n%4, n, 1000+n%4*500, clock.Millis(2+n%7)*clock.Second, 100)
+		f.work[x.ID].fails = badClass && n%4 == 0
+		_ = b.Submit(x)
+	}
+	for range 200 {
+		plan := b.Pass(f.now)
+		for _, a := range plan.Aside {
+			aside = append(aside, a.Worker)
+		}
+		Carry(f, plan.Actions)
+		tick(f, b, 500)
+	}
+	for _, j := range f.work {
+		if !j.fails {
+			lost += j.lost
+		}
+	}
+	return lost, aside
+}
