--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -13,7 +13,8 @@
 	MaxResults     = 10_000
 	// ClaimLifetime and MaxClaims bound the idempotency claims.
 	ClaimLifetime = 24 * clock.Hour
-	MaxClaims     = 1_000_000
+	// 100,000 claims take 27 MB, and a control instance may use 128 MB.
+	MaxClaims = 200_000
 	// MaxOutages bounds the remembered outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
