Fix two tests that depended on the order of closing

Cause: with -cpu 2, TestOutcomes and TestRetryAfterProvenNotRun failed in 4 of 20 runs: their upstream closed its connections without announcing it, so a request written meanwhile was rightly an unknown.

What they check is unchanged.

--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -52,7 +52,7 @@
 				<-hang
 				return
 			}
-			send(conn, c.answer)
+			answer(conn, c.answer)
 		})
 		g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 		for _, key := range []string{"", "k1"} {
@@ -107,7 +107,7 @@
 // refusals without an outcome.
 func TestRefusedRequests(t *testing.T) {
 	u := newRaw(t, func(c net.Conn, _ *http.Request) {
-		send(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
 	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	for _, c := range []struct {
@@ -152,7 +152,7 @@
 // Guards against conflicting lengths, which let one request hide in another.
 func TestConflictingLengthsAreRefused(t *testing.T) {
 	u := newRaw(t, func(c net.Conn, _ *http.Request) {
-		send(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
 	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	for _, head := range []string{
@@ -187,7 +187,7 @@
 		if r.URL.Path == "/svc/cut" {
 			cut = body[:large-1]
 		}
-		send(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, cut))
+		answer(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, cut))
 	})
 	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	_, got := g.do(t, g.request(t, "GET", "acme", ""))
@@ -231,7 +231,7 @@
 // the budget, or that alter the body.
 func TestRetryAfterProvenNotRun(t *testing.T) {
 	busy := newRaw(t, func(c net.Conn, _ *http.Request) {
-		send(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
+		answer(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
 	})
 	g := newRig(t, 8, []model.Contract{contract("acme", 64, 8, 50)}, busy.address, upstream(t, echo), "127.0.0.1:1")
 	big := strings.Repeat("b", 60<<10)
--- a/io/trans/front/raw_test.go
+++ b/io/trans/front/raw_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -43,3 +44,10 @@
 
 // send writes s; a test that needs the bytes to arrive sees it by the answer.
 func send(c io.Writer, s string) { _, _ = io.WriteString(c, s) }
+
+// answer writes a response and says that the connection is closed after it.
+// Without that, a request that is written while the connection is being closed
+// is rightly an unknown, and the tests would depend on which comes first.
+func answer(c io.Writer, s string) {
+	send(c, strings.Replace(s, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+}
