Use one rule for names everywhere

Cause: settings allowed names with upper case and '_' that the front end refused, so that a customer with a valid contract could not call. Change: model.ValidName.

--- /dev/null
+++ b/core/state/model/name.go
@@ -0,0 +1,22 @@
+package model
+
+// MaxName is the largest length of a name, in bytes.
+const MaxName = 64
+
+// ValidName reports whether s may name a customer, a pool, an instance, a zone,
+// a rack or a process: 1 to MaxName letters, digits, '-' and '_', starting with
+// a letter or digit. The names go into paths, headers, files and metrics as
+// they are.
+func ValidName(s string) bool {
+	if s == "" || len(s) > MaxName {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		letterOrDigit := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letterOrDigit && (i == 0 || c != '-' && c != '_') {
+			return false
+		}
+	}
+	return true
+}
--- a/io/proto/conf/key.go
+++ b/io/proto/conf/key.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"camphorridge/core/state/model"
 )
 
 // family is the placeholder for a chosen name in a section or key: "pool
@@ -45,7 +47,7 @@
 		return "", pattern == text
 	}
 	name, ok = strings.CutPrefix(text, prefix)
-	return name, ok && isName(name)
+	return name, ok && model.ValidName(name)
 }
 
 type integer interface{ ~int | ~int64 }
--- a/io/proto/conf/rule.go
+++ b/io/proto/conf/rule.go
@@ -8,16 +8,12 @@
 	"camphorridge/core/state/model"
 )
 
-// maxName is the largest length of a name; names are sent in headers and
-// paths.
-const maxName = 64
-
 // maxPath is the largest length of a path that the platform accepts.
 const maxPath = 4096
 
 var nameRule = rule{
 	allowed: "1 to 64 letters, digits, '-' and '_', starting with a letter or digit",
-	accepts: isName,
+	accepts: model.ValidName,
 }
 
 var listenRule = rule{
@@ -43,20 +39,10 @@
 	}
 }
 
-func isName(s string) bool {
-	for i, r := range s {
-		letterOrDigit := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
-		if !letterOrDigit && (i == 0 || r != '-' && r != '_') {
-			return false
-		}
-	}
-	return s != "" && len(s) <= maxName
-}
-
 // parseMember parses zone@ip:port.
 func parseMember(name, value string) (m model.Member, ok bool) {
 	zone, address, ok := strings.Cut(value, "@")
-	if !ok || !isName(zone) {
+	if !ok || !model.ValidName(zone) {
 		return m, false
 	}
 	ap, err := netip.ParseAddrPort(address)
--- a/io/trans/front/parse.go
+++ b/io/trans/front/parse.go
@@ -9,12 +9,8 @@
 	"camphorridge/core/state/model"
 )
 
-// maxName bounds the names of customers and services, and maxKey idempotency
-// keys.
-const (
-	maxName = 63
-	maxKey  = 255
-)
+// maxKey bounds idempotency keys.
+const maxKey = 255
 
 // inbound is a request that was checked.
 type inbound struct {
@@ -38,11 +34,11 @@
 	}
 	path, found := strings.CutPrefix(r.URL.Path, "/")
 	service, _, slash := strings.Cut(path, "/")
-	if !found || !slash || !validName(service) {
+	if !found || !slash || !model.ValidName(service) {
 		return in, bad("the path does not begin with /<service>/")
 	}
 	customers := r.Header[HeaderCustomer]
-	if len(customers) != 1 || !validName(customers[0]) {
+	if len(customers) != 1 || !model.ValidName(customers[0]) {
 		return in, bad("%s must be given once and hold a name", HeaderCustomer)
 	}
 	in.customer, in.service = model.Customer(customers[0]), model.Pool(service)
@@ -84,21 +80,6 @@
 	return keys[0], nil
 }
 
-// validName reports whether s is a name: lower-case letters, digits, hyphens
-// and dots, beginning with a letter or digit.
-func validName(s string) bool {
-	if s == "" || len(s) > maxName || s[0] == '-' || s[0] == '.' {
-		return false
-	}
-	for i := range len(s) {
-		c := s[i]
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '.' {
-			return false
-		}
-	}
-	return true
-}
-
 // headerSize returns the size of the fields as net/http counts them.
 func headerSize(h http.Header) int {
 	n := 0
--- a/io/trans/peers/announce.go
+++ b/io/trans/peers/announce.go
@@ -15,7 +15,6 @@
 
 // Bounds of the values in an announcement.
 const (
-	maxNameBytes   = 128
 	maxSlots       = 1024
 	maxConnections = 65536
 )
@@ -107,23 +106,13 @@
 
 func (p *formParser) name(field string) string {
 	v := p.form.Get(field)
-	if len(v) == 0 || len(v) > maxNameBytes {
-		p.fail(field, v, fmt.Sprintf("1 to %d letters, digits, dots, dashes or underscores", maxNameBytes))
+	if !model.ValidName(v) {
+		p.fail(field, v, fmt.Sprintf("1 to %d letters, digits, dashes or underscores, starting with a letter or digit", model.MaxName))
 		return ""
 	}
-	for _, c := range []byte(v) {
-		if !nameByte(c) {
-			p.fail(field, v, "letters, digits, dots, dashes or underscores")
-			return ""
-		}
-	}
 	return v
 }
 
-func nameByte(c byte) bool {
-	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '.' || c == '-' || c == '_'
-}
-
 func (p *formParser) address(field string) string {
 	v := p.form.Get(field)
 	if !ipPort(v) {
