Report what callers feel and how instances fare to the leader

Cause: waves could neither slow down by what callers feel nor stop when what they touched fails more than its peers, as nothing told the leader. Change: entry processes count refusals for lack of capacity or time, unknown outcomes and failures by instance, and report them every 5 s; the mover feeds the board. Result: go vet and the tests of core/coord and io/trans pass.

--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -21,6 +21,7 @@
 	opConfig
 	opInstance
 	opLive
+	opFelt
 )
 
 // command is a call that the duty answers; the fields of its op are set.
@@ -38,6 +39,7 @@
 	instance model.Instance
 	known    bool
 	live     []model.Announcement
+	felt     model.Felt
 	// reply is closed once the command was carried out.
 	reply chan struct{}
 }
@@ -63,6 +65,8 @@
 		}
 	case opInstance:
 		c.instance, c.known = d.table.Instances[c.instance.ID]
+	case opFelt:
+		c.felt = d.felt.take()
 	case opLive:
 		c.live = d.live(now)
 	}
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -27,6 +27,7 @@
 		d.refuse(a, d.refusal(why, r.Pool))
 		return
 	}
+	d.felt.customer(r.Customer).Asks++
 	if r.Deadline <= now {
 		d.refuse(a, d.refusal(admit.ReasonDeadline, r.Pool))
 		return
@@ -152,6 +153,7 @@
 			m.outcome, elapsed = OutcomeCancelled, -1
 		}
 	}
+	d.felt.ran(f.line.Account.Customer, f.held.Upstream.Instance, m.outcome)
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
 	if d.router.End(now, f.held, m.outcome) {
@@ -187,6 +189,7 @@
 
 func (d *Dispatcher[P, Q]) refuse(a *ask, r Refusal) {
 	d.counts.Refused++
+	d.felt.refused(a.request.Customer, r.Kind)
 	if r.Kind != RefusalUnknown && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
 		d.refusals[refused{a.request.Customer, a.request.Pool, r.Reason}]++
 	}
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -90,6 +90,7 @@
 	flights []flight
 	free    []uint32
 	counts  Counts
+	felt    tally
 	late    []*ask
 	pools   []model.Pool
 	lapsed  []member.Record
@@ -118,6 +119,7 @@
 		in:       ring.New[message](cfg.Ring),
 		done:     make(chan struct{}),
 		gate:     admit.New[P, *ask](picker),
+		felt:     newTally(),
 		roster:   member.New(member.Settings{Zone: cfg.Zone, Lease: cfg.Lease}, clk.Now()),
 		refusals: map[refused]int{},
 		slots:    map[model.Pool]map[int]int{},
--- /dev/null
+++ b/core/coord/entry/felt.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/route"
+)
+
+// tally counts what callers felt and what instances ran since it was last
+// taken.
+type tally struct {
+	customers map[model.Customer]*model.CustomerFelt
+	instances map[model.InstanceID]*model.InstanceTally
+}
+
+func newTally() tally {
+	return tally{
+		customers: map[model.Customer]*model.CustomerFelt{},
+		instances: map[model.InstanceID]*model.InstanceTally{},
+	}
+}
+
+func (t *tally) customer(c model.Customer) *model.CustomerFelt {
+	f := t.customers[c]
+	if f == nil {
+		f = &model.CustomerFelt{Customer: c}
+		t.customers[c] = f
+	}
+	return f
+}
+
+// refused counts a refusal that the fleet, and not the contract, is the reason
+// for.
+func (t *tally) refused(c model.Customer, k RefusalKind) {
+	if k == RefusalCapacity || k == RefusalDeadline {
+		t.customer(c).Suffered++
+	}
+}
+
+// ran counts a request that was sent to an instance.
+func (t *tally) ran(c model.Customer, id model.InstanceID, o Outcome) {
+	i := t.instances[id]
+	if i == nil {
+		i = &model.InstanceTally{Instance: id}
+		t.instances[id] = i
+	}
+	i.Calls++
+	switch o {
+	case route.OutcomeUnknown, route.OutcomeTimeout:
+		t.customer(c).Suffered++
+		i.Failures++
+	case route.OutcomeError, route.OutcomeConnect:
+		i.Failures++
+	}
+}
+
+// take returns the counts in order of their names and starts anew.
+func (t *tally) take() model.Felt {
+	var f model.Felt
+	for _, c := range t.customers {
+		f.Customers = append(f.Customers, *c)
+	}
+	for _, i := range t.instances {
+		f.Instances = append(f.Instances, *i)
+	}
+	slices.SortFunc(f.Customers, func(a, b model.CustomerFelt) int { return cmp.Compare(a.Customer, b.Customer) })
+	slices.SortFunc(f.Instances, func(a, b model.InstanceTally) int { return cmp.Compare(a.Instance, b.Instance) })
+	clear(t.customers)
+	clear(t.instances)
+	return f
+}
+
+// Felt returns what callers felt since the last call.
+func (d *Dispatcher[P, Q]) Felt() model.Felt { return d.call(&command{op: opFelt}).felt }
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -15,6 +15,9 @@
 	// an entry process for silent after three of them.
 	ReportInterval = clock.Second
 	reportTimeout  = clock.Second
+	// FeltInterval separates two reports of what callers felt. At 255 upstreams
+	// in a zone one such report has about 8 KB.
+	FeltInterval = 5 * clock.Second
 )
 
 // Report is what an entry process tells the leader.
@@ -29,6 +32,8 @@
 	Drained model.Version
 	Live    []model.Announcement
 	Gone    []model.InstanceID
+	// Felt is empty in most reports; see FeltInterval.
+	Felt model.Felt
 }
 
 // Status is what the reporter reads from the other duties of the process.
@@ -51,6 +56,8 @@
 	incarnation uint64
 	out         R
 	status      func() Status
+	felt        func() model.Felt
+	feltAt      clock.Millis
 	clock       clock.Clock
 	done        chan struct{}
 	sent        map[model.InstanceID]model.Announcement
@@ -64,9 +71,9 @@
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, c clock.Clock) *Reporter[R] {
+func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.Felt, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
-		self: self, incarnation: incarnation, out: out, status: status, clock: c,
+		self: self, incarnation: incarnation, out: out, status: status, felt: felt, clock: c,
 		done: make(chan struct{}), sent: map[model.InstanceID]model.Announcement{},
 	}
 }
@@ -97,6 +104,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout.Duration())
 	defer cancel()
 	r.lastTime = now
+	if now-r.feltAt >= FeltInterval {
+		r.feltAt = now
+		rep.Felt = r.felt()
+	}
 	full := !r.complete
 	term, err := r.out.Report(ctx, rep)
 	if err != nil {
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -72,6 +72,8 @@
 	silent map[model.Zone]bool
 	// seen is what the board was last told of an instance.
 	seen map[model.InstanceID]maint.Seen
+	// felt sums what callers felt lately.
+	felt feeling
 	// outage is the last finished outage that was read.
 	outage model.Outage
 	began  clock.Millis
@@ -111,6 +113,7 @@
 	m.away = map[model.InstanceID]bool{}
 	m.silent = map[model.Zone]bool{}
 	m.seen = map[model.InstanceID]maint.Seen{}
+	m.felt = newFeeling()
 	m.outage = model.Outage{}
 	m.began = m.clock.Now()
 	m.board.Reset(nil)
@@ -172,5 +175,6 @@
 	}
 	before := m.registry.Processes[i.report.Process].Drained
 	m.registry.Take(*i.report, m.clock.Now())
+	m.felt.add(i.report.Felt)
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
 }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -41,6 +41,7 @@
 	m.registry.Settle(m.table)
 	m.seeZones(now)
 	m.seeUnderWay()
+	m.seeFelt(now)
 	plan := m.board.Pass(now)
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
@@ -111,7 +112,7 @@
 	delete(m.rebooted, i.ID)
 	if i.Phase == model.PhaseServing {
 		m.registry.Watch(i.ID, now)
-		m.see(i.ID, maint.Seen{LostSince: i.Lost})
+		m.see(i.ID, keep(m.seen[i.ID], maint.Seen{LostSince: i.Lost}))
 	}
 }
 
@@ -144,7 +145,7 @@
 		if !changed[i.Zone] || i.Phase != model.PhaseServing {
 			continue
 		}
-		s := maint.Seen{LostSince: i.Lost}
+		s := keep(m.seen[i.ID], maint.Seen{LostSince: i.Lost})
 		if s.LostSince == 0 && m.silent[i.Zone] {
 			s.LostSince = now
 		}
@@ -156,7 +157,7 @@
 func (m *Mover[G, P, C, J, A]) seeUnderWay() {
 	for id := range m.away {
 		i := m.table.Instances[id]
-		s := maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0}
+		s := keep(m.seen[id], maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
 		if i.Phase == model.PhaseMaintenance {
 			l, live := m.registry.Live[id]
 			s.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -162,6 +162,12 @@
 	for _, id := range r.Gone {
 		w.Gone = append(w.Gone, string(id))
 	}
+	for _, c := range r.Felt.Customers {
+		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Asks, Suffered: c.Suffered})
+	}
+	for _, i := range r.Felt.Instances {
+		w.Tallies = append(w.Tallies, &wirepb.InstanceTally{Instance: string(i.Instance), Calls: i.Calls, Failures: i.Failures})
+	}
 	return w
 }
 
@@ -181,5 +187,15 @@
 	for _, id := range w.GetGone() {
 		r.Gone = append(r.Gone, model.InstanceID(id))
 	}
+	for _, c := range w.GetCustomers() {
+		r.Felt.Customers = append(r.Felt.Customers, model.CustomerFelt{
+			Customer: model.Customer(c.GetCustomer()), Asks: c.GetAsks(), Suffered: c.GetSuffered(),
+		})
+	}
+	for _, i := range w.GetTallies() {
+		r.Felt.Instances = append(r.Felt.Instances, model.InstanceTally{
+			Instance: model.InstanceID(i.GetInstance()), Calls: i.GetCalls(), Failures: i.GetFailures(),
+		})
+	}
 	return r, nil
 }
