Tell moves from losses in maint and make its estimate monotone

Change: absences carry their cause, a move counts as unavailable but not as a second domain; the estimate fills the places of the busy domain one by one.

--- a/core/state/maint/account.go
+++ b/core/state/maint/account.go
@@ -15,11 +15,15 @@
 	pressure int
 	// out holds the customer's instances that are out of service.
 	out map[model.InstanceID]absence
-	// domains counts out by covered failure domain, planned those of them that
-	// maintenance took out. Both include the tentative ones of a pass.
+	// domains counts the maintained and the lost ones by covered failure
+	// domain. A move takes seconds and its end does not depend on a reboot, so
+	// it counts as unavailable but does not hold up a whole domain's
+	// maintenance.
 	domains map[string]int
-	planned int
-	count   int
+	// by counts out by cause and count in total. All of them include the
+	// tentative releases of a pass.
+	by    [causes]int
+	count int
 	// tentative is the number of releases decided in the current pass.
 	tentative int
 	// spentAt and spent cache the window's sum during one pass.
@@ -27,11 +31,21 @@
 	spent   clock.Millis
 }
 
+// cause is why an instance is out of service.
+type cause int
+
+const (
+	causeMaintenance cause = iota
+	causeMove
+	causeLoss
+	causes
+)
+
 // absence is an instance out of service.
 type absence struct {
-	planned bool
-	domain  string
-	from    clock.Millis
+	cause  cause
+	domain string
+	from   clock.Millis
 }
 
 func newAccount(c model.Contract) *account {
@@ -57,24 +71,25 @@
 	}
 }
 
-func (a *account) add(i model.Instance, planned bool, from clock.Millis) {
+func (a *account) add(i model.Instance, c cause, from clock.Millis) {
 	a.spentAt = -1
-	a.out[i.ID] = absence{planned: planned, domain: a.domainOf(i), from: from}
-	a.shift(a.domainOf(i), planned, 1)
+	a.out[i.ID] = absence{cause: c, domain: a.domainOf(i), from: from}
+	a.shift(a.domainOf(i), c, 1)
 }
 
 func (a *account) remove(id model.InstanceID) {
 	if o, ok := a.out[id]; ok {
 		a.spentAt = -1
 		delete(a.out, id)
-		a.shift(o.domain, o.planned, -1)
+		a.shift(o.domain, o.cause, -1)
 	}
 }
 
-func (a *account) shift(domain string, planned bool, n int) {
+func (a *account) shift(domain string, c cause, n int) {
 	a.count += n
-	if planned {
-		a.planned += n
+	a.by[c] += n
+	if c == causeMove {
+		return
 	}
 	a.domains[domain] += n
 	if a.domains[domain] == 0 {
@@ -82,7 +97,7 @@
 	}
 }
 
-// elsewhere reports whether an instance of another domain is out of service.
+// elsewhere reports whether an instance of another domain is maintained or lost.
 func (a *account) elsewhere(domain string) bool {
 	return len(a.domains) > 1 || (len(a.domains) == 1 && a.domains[domain] == 0)
 }
@@ -90,7 +105,7 @@
 // lostElsewhere is like elsewhere, for unplanned losses only.
 func (a *account) lostElsewhere(domain string) bool {
 	for _, o := range a.out {
-		if !o.planned && o.domain != domain {
+		if o.cause == causeLoss && o.domain != domain {
 			return true
 		}
 	}
@@ -111,11 +126,11 @@
 		}
 		for _, o := range a.out {
 			past := now - max(o.from, start)
-			if o.planned {
-				a.spent += max(past, step)
+			if o.cause == causeLoss {
+				a.spent += past + step
 				continue
 			}
-			a.spent += past + step
+			a.spent += max(past, step)
 		}
 	}
 	return a.spent + clock.Millis(a.tentative)*step
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -99,6 +99,11 @@
 			b.Run(fmt.Sprintf("%s/%d", name, size.n), func(b *testing.B) {
 				passes(b, newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2), scan)
 			})
+			b.Run(fmt.Sprintf("%s-wave/%d", name, size.n), func(b *testing.B) {
+				w := newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
+				w.decls = []model.Maintenance{{Name: "firmware", Declared: 100 * clock.Day, Deadline: 110 * clock.Day}}
+				passes(b, w, scan)
+			})
 		}
 	}
 }
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -53,7 +53,6 @@
 	// applied is set while the fields below are part of the counts.
 	applied bool
 	out     bool
-	planned bool
 	// wave is the pending wave with the earliest deadline; nil for none.
 	wave     *wave
 	deadline clock.Millis
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
@@ -39,14 +40,13 @@
 	if len(w.pending) == 0 && w.decl.Declared <= now {
 		return 0
 	}
-	started := b.startedIn(w)
 	covered := map[model.Pool]bool{}
 	for _, c := range sortedKeys(b.accounts) {
 		a := b.accounts[c]
 		for _, p := range a.pools {
 			covered[p] = true
 		}
-		b.checkCustomer(w, a, started, now)
+		b.checkCustomer(w, a, now)
 	}
 	free := 0
 	for p, n := range w.byPool {
@@ -67,97 +67,98 @@
 	return now + max(b.set.StepMillis/4, 1)
 }
 
-// startedIn lists the wave's instances that are in maintenance already.
-func (b *Board[P, J]) startedIn(w *wave) []*item {
-	var out []*item
-	for _, id := range sortedKeys(b.flight) {
-		if b.flight[id].wave == w {
-			out = append(out, b.flight[id])
-		}
-	}
-	return out
+// outlook is what one customer still has before it in a wave.
+type outlook struct {
+	// left counts the instances that did not start, by failure domain.
+	left map[string]int
+	// ends holds the expected ends of the maintenances under way, which all
+	// are in the domain busy.
+	ends []clock.Millis
+	busy string
 }
 
-func (b *Board[P, J]) checkCustomer(w *wave, a *account, started []*item, now clock.Millis) {
+// look sums up what a customer has left; total counts those under way too.
+func (b *Board[P, J]) look(w *wave, a *account, now clock.Millis) (o outlook, total int) {
+	o.left = map[string]int{}
 	own := map[model.Pool]bool{}
-	total := 0
 	for _, p := range a.pools {
 		own[p] = true
 		total += w.byPool[p]
 	}
-	if total == 0 {
-		return
+	// Each instance is a domain of its own under DomainInstance; they are
+	// counted together and done one at a time.
+	name := func(i model.Instance) string {
+		if a.contract.Covers == model.DomainInstance {
+			return ""
+		}
+		return a.domainOf(i)
 	}
-	left := map[string]int{}
 	for c, n := range w.pending {
-		if !own[c.pool] {
-			continue
-		}
-		if a.contract.Covers == model.DomainInstance {
-			// Each instance is a domain of its own: one round each.
-			left[""] += n
-			continue
+		if own[c.pool] {
+			o.left[name(model.Instance{Zone: c.zone, Rack: c.rack})] += n
 		}
-		left[a.domainOf(model.Instance{Zone: c.zone, Rack: c.rack})] += n
 	}
-	begin := now
-	for _, it := range started {
+	for _, id := range sortedKeys(b.flight) {
+		it := b.flight[id]
 		if !own[it.inst.Pool] {
 			continue
 		}
-		d := a.domainOf(it.inst)
-		if a.contract.Covers == model.DomainInstance {
-			d = ""
+		o.busy = name(it.inst)
+		if slices.Contains(it.pending, w) {
+			o.left[o.busy]--
 		}
-		left[d]--
-		end := a.out[it.inst.ID].from + b.set.StepMillis
+		end := a.out[id].from + b.set.StepMillis
 		if end < now {
 			// It has taken longer than a maintenance may; nothing says when it
 			// will be back.
 			end = now + b.set.StepMillis
 		}
-		begin = max(begin, end)
+		o.ends = append(o.ends, end)
+	}
+	return o, total
+}
+
+func (b *Board[P, J]) checkCustomer(w *wave, a *account, now clock.Millis) {
+	o, total := b.look(w, a, now)
+	if total == 0 {
+		return
 	}
 	late := Late{Wave: w.decl.Name, Customer: a.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
-	late.Estimate, late.Reason = b.estimate(w, a, left, begin, now)
+	late.Estimate, late.Reason = b.estimate(w, a, o, now)
 	if late.Estimate == 0 || late.Estimate > w.decl.Deadline {
 		w.late = append(w.late, late)
 	}
 }
 
-// estimate returns when the customer's instances that are left in each
-// failure domain would be done, one domain after the other, and which limit
-// decides that; 0 for never.
-func (b *Board[P, J]) estimate(w *wave, a *account, left map[string]int, begin, now clock.Millis) (clock.Millis, string) {
-	rest, rounds := 0, 0
-	lost := a.count - a.planned
-	width := a.contract.MaxUnavailable - lost
-	if a.contract.Covers == model.DomainInstance {
-		width = min(width, 1)
-	}
-	for _, n := range left {
+// estimate returns when the customer's instances would be done, one domain
+// after the other, and which limit decides that; 0 for never. It assumes that
+// each maintenance takes as long as it may, so it does not grow while all goes
+// as planned.
+func (b *Board[P, J]) estimate(w *wave, a *account, o outlook, now clock.Millis) (clock.Millis, string) {
+	rest := 0
+	for _, n := range o.left {
 		rest += n
-		if width > 0 {
-			rounds += (n + width - 1) / width
-		}
 	}
 	if rest == 0 {
-		return begin, "in maintenance and not back in time"
+		return slices.Max(append(o.ends, now)), "in maintenance and not back in time"
+	}
+	lost := a.by[causeLoss]
+	width := a.contract.MaxUnavailable - lost
+	if a.contract.Covers == model.DomainInstance {
+		width = min(width, 1)
 	}
 	if width <= 0 {
 		return 0, fmt.Sprintf("max-unavailable %d with %d unplanned losses", a.contract.MaxUnavailable, lost)
 	}
-	switch {
-	case w.observed > 0:
-	case w.flight > 0:
-		begin += b.set.CanaryMillis
-	case w.touched.Instances > 0:
-		begin = max(begin, w.canary+b.set.CanaryMillis)
-	default:
-		begin += b.set.StepMillis + b.set.CanaryMillis
+	end := b.finishBusy(o, b.opens(w, o, now), width)
+	rounds := 0
+	for name, n := range o.left {
+		if len(o.ends) == 0 || name != o.busy {
+			rounds += (n + width - 1) / width
+		}
 	}
-	end := begin + clock.Millis(rounds)*b.set.StepMillis
-	reason := fmt.Sprintf("%d instances in %d rounds of at most %d in one %s", rest, rounds, width, a.contract.Covers)
+	end += clock.Millis(rounds) * b.set.StepMillis
+	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", rest, width, a.contract.Covers)
 	if a.contract.WindowMillis == 0 {
 		return end, reason
 	}
@@ -174,6 +175,38 @@
 	return end, reason
 }
 
+// opens is when the canary lets others start.
+func (b *Board[P, J]) opens(w *wave, o outlook, now clock.Millis) clock.Millis {
+	switch {
+	case w.observed > 0:
+		return now
+	case w.flight > 0:
+		return slices.Max(append(o.ends, now)) + b.set.CanaryMillis
+	case w.touched.Instances > 0:
+		return max(now, w.canary+b.set.CanaryMillis)
+	default:
+		return now + b.set.StepMillis + b.set.CanaryMillis
+	}
+}
+
+// finishBusy is when the domain in which maintenance is under way is done:
+// each place that becomes free takes the next of its instances.
+func (b *Board[P, J]) finishBusy(o outlook, opens clock.Millis, width int) clock.Millis {
+	if len(o.ends) == 0 {
+		return opens
+	}
+	places := slices.Clone(o.ends)
+	for len(places) < width {
+		places = append(places, opens)
+	}
+	slices.Sort(places)
+	for range o.left[o.busy] {
+		places = append(places[1:], max(places[0], opens)+b.set.StepMillis)
+		slices.Sort(places)
+	}
+	return max(opens, places[len(places)-1])
+}
+
 // checkPeriod reports, by pool, the instances that the periodic goal cannot
 // reach in time any more, and returns the time of the next check.
 func (b *Board[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -97,8 +97,8 @@
 		return scopeShelf, true
 	}
 	width := b.pacer.Width(Felt{Pressure: a.pressure, Max: c.MaxUnavailable, Needed: b.needed(it, a, now)})
-	if a.planned >= width {
-		wait.Limit, wait.Have, wait.Max = LimitPressure, int64(a.planned), int64(width)
+	if a.by[causeMaintenance] >= width {
+		wait.Limit, wait.Have, wait.Max = LimitPressure, int64(a.by[causeMaintenance]), int64(width)
 		wait.Until = now + b.set.RetryMillis
 		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", a.pressure)
 		return scopeItem, true
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -167,6 +167,25 @@
 	return i
 }
 
+// Guards against moves between pools that hold up or take back maintenance in
+// another domain as if they were losses.
+func TestMovesDoNotHoldUpOtherDomains(t *testing.T) {
+	w := newWorld(3, 12, 3, 1, 1, model.DomainZone, 3)
+	w.declare(clock.Day)
+	w.inst["i0003"] = maintained(w.inst["i0003"], w.now)
+	w.now += clock.Hour
+	for id, target := range map[model.InstanceID]model.Pool{"i0000": "p00", "i0001": "other"} {
+		i := w.inst[id]
+		i.Phase, i.Target, i.Since = model.PhaseReleasing, target, w.now
+		w.inst[id] = i
+	}
+	plan := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now)
+	assert.Equal(t, len(plan.Steps), 1)
+	assert.Equal(t, plan.Steps[0].Kind, StepRelease)
+	assert.Equal(t, w.inst[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
+	assert.Equal(t, plan.Waits[0].Limit, LimitCount, "the move counts as unavailable")
+}
+
 // Guards against an instance that the periodic goal misses although budgets
 // allow it, and against two periods that start at the same moment.
 func TestPeriodicGoal(t *testing.T) {
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -168,7 +168,7 @@
 	it.wave.tentative += n
 	for _, c := range b.holders[it.inst.Pool] {
 		a := b.accounts[c]
-		a.shift(a.domainOf(it.inst), true, n)
+		a.shift(a.domainOf(it.inst), causeMaintenance, n)
 		a.tentative += n
 	}
 }
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -73,10 +73,16 @@
 func (b *Board[P, J]) applyOut(it *item) {
 	lost := it.seen.LostSince > 0
 	it.out = it.inst.Phase != model.PhaseServing || lost
-	it.planned = it.out && inMaintenance(it.inst)
 	if !it.out {
 		return
 	}
+	why := causeLoss
+	switch {
+	case inMaintenance(it.inst):
+		why = causeMaintenance
+	case !lost:
+		why = causeMove
+	}
 	from, ok := b.opened[it.inst.ID]
 	switch {
 	case ok:
@@ -86,7 +92,7 @@
 		from = it.seen.LostSince
 	}
 	for _, c := range b.holders[it.inst.Pool] {
-		b.accounts[c].add(it.inst, it.planned, from)
+		b.accounts[c].add(it.inst, why, from)
 		b.touchPools(b.accounts[c])
 	}
 }
