Make passes of maint cheaper during a wave over the whole fleet

Cause: health reports took instances out of all counts and back, and a wave that waits for its canary was explained anew for each instance; at 5,100 instances a pass during a wave measured 291 us and 215 KB. Change: health reports adjust the sums only; a wave that is held is looked at once for each pool, and racks of a domain that must wait are passed over. The benchmark now has a loss and a return among its 12 changes.

--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -124,11 +124,11 @@
 	board.Pass(w.now)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	k := 0
+	k, down := 0, ids[0]
 	b.ReportAllocs()
 	for b.Loop() {
 		w.now += clock.Second
-		for range 12 {
+		for range 10 {
 			k++
 			id := ids[k*7%len(ids)]
 			s := w.seen[id]
@@ -136,6 +136,14 @@
 			w.seen[id] = s
 			board.SetSeen(id, s)
 		}
+		for _, lost := range []bool{false, true} {
+			if lost {
+				down = ids[k*11%len(ids)]
+			}
+			w.lose(down, lost)
+			board.SetSeen(down, w.seen[down])
+		}
+		w.outages = w.outages[:0]
 		for _, s := range board.Pass(w.now).Steps {
 			w.do(s)
 			board.SetInstance(w.inst[s.Instance])
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -136,8 +136,24 @@
 // SetSeen tells the board what is known of an instance.
 func (b *Board[P, J]) SetSeen(id model.InstanceID, s Seen) {
 	it := b.item(id)
-	b.undo(it)
+	calls, failures := s.Calls-it.seen.Calls, s.Failures-it.seen.Failures
+	same := it.seen
+	same.Calls, same.Failures = s.Calls, s.Failures
+	if !it.applied || same != s {
+		b.undo(it)
+		it.seen = s
+		return
+	}
+	// Health reports are the most frequent change and leave all else as it is.
 	it.seen = s
+	d := Tally{Calls: calls, Failures: failures}
+	it.tally.add(d, 1)
+	for _, w := range it.touched {
+		w.touched.add(d, 1)
+	}
+	for _, w := range it.peer {
+		w.peers.add(d, 1)
+	}
 }
 
 func (b *Board[P, J]) item(id model.InstanceID) *item {
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
@@ -12,6 +13,7 @@
 
 const (
 	scopeItem scope = iota
+	scopeWave
 	scopeShelf
 	scopePool
 )
@@ -20,10 +22,15 @@
 // limit that holds all of them.
 func (b *Board[P, J]) pick(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
 	var first *Wait
+	var held []*wave
 	for _, s := range b.ready[p].order() {
+		if first != nil && b.elsewhere(p, s.items[0].inst) {
+			// The wait is known already; most racks of a large pool end here.
+			continue
+		}
 	shelf:
 		for _, it := range s.items {
-			if taken[it] {
+			if taken[it] || slices.Contains(held, it.wave) {
 				continue
 			}
 			wait, sc := b.blocked(it, now)
@@ -36,14 +43,28 @@
 			if first == nil {
 				first = wait
 			}
-			if sc == scopeShelf {
+			switch sc {
+			case scopeShelf:
 				break shelf
+			case scopeWave:
+				held = append(held, it.wave)
 			}
 		}
 	}
 	return nil, first
 }
 
+// elsewhere reports whether a customer of the pool has instances of another
+// domain than the instance's in maintenance or lost.
+func (b *Board[P, J]) elsewhere(p model.Pool, i model.Instance) bool {
+	for _, c := range b.holders[p] {
+		if a := b.accounts[c]; a.elsewhere(a.domainOf(i)) {
+			return true
+		}
+	}
+	return false
+}
+
 // blocked returns the first limit that keeps the instance from being
 // released; nil when none does.
 func (b *Board[P, J]) blocked(it *item, now clock.Millis) (*Wait, scope) {
@@ -55,11 +76,11 @@
 		return &wait, scopeItem
 	case w.stop != "":
 		wait.Limit, wait.Unblock = LimitStopped, "the touched instances recover or the declaration is withdrawn: "+w.stop
-		return &wait, scopeItem
+		return &wait, scopeWave
 	case w.observed == 0 && (w.flight+w.tentative > 0 || w.touched.Instances > 0):
 		wait.Limit, wait.Have, wait.Max = LimitCanary, int64(w.flight+w.tentative), 1
 		wait.Unblock = fmt.Sprintf("the first instance is back and was observed for %d ms", b.set.CanaryMillis)
-		return &wait, scopeItem
+		return &wait, scopeWave
 	}
 	for _, c := range b.holders[it.inst.Pool] {
 		wait.Customer = c
