Let a new leader take over running tasks

Cause: a new leader knows neither what runs nor which start messages are still on their way. Change: TakeOver keeps it from starting anything for one lease and numbers its attempts by term; Adopt takes in what workers report.

--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -38,6 +38,10 @@
 	// slack holds the workers with throttled tasks.
 	slack map[WorkerID]bool
 	aside map[WorkerID]bool
+	// term is the leader's; attempts of different terms never have the same
+	// number. Nothing is started before quiet.
+	term  int
+	quiet clock.Millis
 	// over lists the tasks that ended, oldest first, so that a name submitted
 	// again is known for a while.
 	over []TaskID
@@ -108,6 +112,15 @@
 	}
 }
 
+// TakeOver tells a new leader's board its term. Starts that the leader before
+// it sent may still reach workers until the lease that they were sent under
+// has run out; nothing is started until then. What workers report to run in
+// the meantime has to be passed to Adopt, and what is left to Submit.
+func (b *Board[F, S, J]) TakeOver(term int, now clock.Millis) {
+	b.term, b.quiet = term, now+b.set.LeaseMillis+b.set.SkewMillis
+	b.due.Push(due{at: b.quiet})
+}
+
 // SetWorker tells the board a worker and its size.
 func (b *Board[F, S, J]) SetWorker(w Worker) {
 	held := b.workers[w.ID]
--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -167,9 +167,8 @@
 	}
 }
 
-// Adopt tells a new board that a task is on a worker, as the worker reports
-// it. A new leader adopts what all workers report before its first pass, or
-// waits for a lease to run out, so that nothing starts twice.
+// Adopt tells a new leader's board that a task runs on a worker, as the worker
+// reports it.
 func (b *Board[F, S, J]) Adopt(t Task, w WorkerID, attempt int, until, started clock.Millis) {
 	on, tm := b.workers[w], b.teams[t.Team]
 	if on == nil || tm == nil || b.tasks[t.ID] != nil {
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -16,10 +16,12 @@
 	for _, id := range sortedKeys(b.full) {
 		b.relieveFull(b.workers[id], now)
 	}
-	for _, id := range sortedKeys(b.holds) {
-		b.passHold(b.workers[id], now)
+	if now >= b.quiet {
+		for _, id := range sortedKeys(b.holds) {
+			b.passHold(b.workers[id], now)
+		}
+		b.startWaiting(now)
 	}
-	b.startWaiting(now)
 	b.restoreThrottled()
 	for _, id := range sortedKeys(b.teams) {
 		b.wait(id, b.teams[id])
@@ -115,11 +117,14 @@
 	return w.weight < b.judge.Limit()/2 || len(w.tasks) == 0
 }
 
+// attemptsPerTerm is more than the starts of one task under one leader.
+const attemptsPerTerm = 1_000_000
+
 func (b *Board[F, S, J]) start(t *task, w *worker, now clock.Millis) {
 	tm := b.teams[t.Team]
 	tm.setDisrupted(t, false)
 	t.phase, t.worker, t.started, t.until, t.percent = PhaseRunning, w, now, w.until, 100
-	t.attempt++
+	t.attempt = max(t.attempt, b.term*attemptsPerTerm) + 1
 	w.tasks[t.ID] = t
 	if !w.proven {
 		b.due.Push(due{at: now + b.set.TrialMillis, worker: w.ID})
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -235,6 +235,58 @@
 	assert.Equal(t, len(aside), 0)
 }
 
+// Guards against a new leader that starts what still runs, or what a late
+// message of the leader before it starts after the change.
+func TestNewLeaderStartsNothingTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
+		f.delay = clock.Millis(rapid.IntRange(0, 8000).Draw(t, "delay"))
+		board := func(term int) *Board[BestFit, Declared, Peers] {
+			b := NewBoard(BestFit{}, Declared{}, Peers{Least: 6}, Defaults())
+			b.TakeOver(term, f.now)
+			f.fill(b)
+			b.SetContract(teamContract(0, 64000))
+			return b
+		}
+		tasks := map[TaskID]Task{}
+		for n := range 30 {
+			x := f.add(0, n, 1000+n%3*1000, clock.Millis(5+n%20)*clock.Second, 100)
+			tasks[x.ID] = x
+		}
+		for term := 1; term <= 4; term++ {
+			b := board(term)
+			length := 60 + f.rnd.IntN(40)
+			if term == 4 {
+				length = 600
+			}
+			for range length {
+				for _, w := range sortedKeys(f.workers) {
+					for id, r := range f.workers[w].runs {
+						b.Adopt(tasks[id], w, r.attempt, f.now+b.set.LeaseMillis, f.now)
+					}
+				}
+				if f.now >= b.quiet {
+					for _, id := range sortedKeys(tasks) {
+						if !f.work[id].over {
+							_ = b.Submit(tasks[id])
+						}
+					}
+				}
+				Carry(f, b.Pass(f.now).Actions)
+				tick(f, b, 500)
+			}
+		}
+		if len(f.violations) > 0 {
+			t.Fatal(f.violations[0])
+		}
+		for id, j := range f.work {
+			if !j.over {
+				t.Fatalf("%s did not run", id)
+			}
+		}
+	})
+}
+
 // Guards against workers that stay set aside for a task which turned out to
 // fail everywhere, under a policy that does not compare with peers.
 func TestGivenUpTaskTakesBlameBack(t *testing.T) {
