Keep reports that come before the first pass of a term

Cause: entry processes report an instance once in a term. The mover dropped its registry in the first pass of a term, and with it the reports that it had taken between the election and that pass; their instances were never enrolled. The answer to a report also named the term read after the hand-over, which may be later than the one in which the mover takes the report.

Change: the mover compares the term before it takes a report, and the server reads the term before it hands the report over.

Result: TestReportBeforeFirstPassOfTerm fails before the change ("the instance was not enrolled") and passes with it. It was found by TestSilentlyCutMember of package tests, where an instance was missing in the fleet for the 60 s of the wait.

--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -119,6 +119,16 @@
 	m.waits = nil
 }
 
+// followTerm starts anew when this member leads in another term than before,
+// and reports whether it leads.
+func (m *Mover[G, P, C, J, A]) followTerm() bool {
+	term, ok := m.group.Leads()
+	if ok && term != m.term {
+		m.reset(term)
+	}
+	return ok
+}
+
 // Report takes a report of an entry process; false when the ring is full.
 func (m *Mover[G, P, C, J, A]) Report(r follow.Report) bool {
 	return m.in.Put(input{report: &r})
@@ -170,6 +180,9 @@
 		i.status <- Status{Processes: m.registry.List(), Waits: append([]Wait(nil), m.waits...)}
 		return false
 	}
+	// Entry processes report an instance once in a term, so a report that comes
+	// before the first pass of a term must outlast the reset of that pass.
+	m.followTerm()
 	before := m.registry.Processes[i.report.Process].Drained
 	m.registry.Take(*i.report, m.clock.Now())
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -190,3 +190,20 @@
 		assert.Assert(t, i.Lost == 0 && i.Phase == model.PhaseServing, "%s is %v", id, i)
 	}
 }
+
+// TestReportBeforeFirstPassOfTerm guards against an instance that is never
+// enrolled because the report that named it was taken between the election and
+// the first pass of the new term. Entry processes report an instance once in a
+// term.
+func TestReportBeforeFirstPassOfTerm(t *testing.T) {
+	w := newWorld(t)
+	w.group.term++
+	a := w.live["i0"]
+	a.Instance = "i8"
+	w.mover.take(input{report: &follow.Report{
+		Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a},
+	}})
+	w.mover.pass()
+	assert.Equal(t, w.instance("i8").Phase, model.PhaseServing)
+	assert.Equal(t, w.instance("i8").ID, model.InstanceID("i8"), "the instance was not enrolled")
+}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -20,14 +20,10 @@
 // pass brings the mover's copy of the table up to date and takes the steps
 // that are due.
 func (m *Mover[G, P, C, J, A]) pass() {
-	term, ok := m.group.Leads()
-	if !ok {
+	if !m.followTerm() {
 		m.waits = nil
 		return
 	}
-	if term != m.term {
-		m.reset(term)
-	}
 	now := m.clock.Now()
 	if !m.refresh(now) {
 		return
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -183,10 +183,13 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("report", err.Error())
 	}
+	// The term is read first: the answer must not name a later term than the one
+	// that the mover takes the report in.
+	term := s.Group.Status().Term
 	if !s.Mover.Report(rep) {
 		return nil, twirp.NewError(twirp.Unavailable, "the leader is busy")
 	}
-	return &wirepb.ReportResponse{Term: s.Group.Status().Term, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
+	return &wirepb.ReportResponse{Term: term, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
 // Status answers with the leader's view of the fleet.
