--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -82,7 +82,9 @@
 	// upstreams holds the pools of each zone's instances.
 	upstreams map[string][]string
 	delay     time.Duration
-	extra     string
+	// extra is appended to the settings of all processes, and control to those
+	// of the control processes alone.
+	extra, control string
 }
 
 func threeZones(pools ...string) layout {
@@ -114,7 +116,11 @@
 		s.startPlatform(z, pools, l.delay)
 	}
 	for _, p := range s.all() {
-		s.writeSettings(p, l.extra)
+		extra := l.extra
+		if p.role == "control" {
+			extra += l.control
+		}
+		s.writeSettings(p, extra)
 	}
 	t.Cleanup(s.close)
 	for _, p := range s.all() {
@@ -281,9 +287,14 @@
 
 // cli runs a command of operators.
 func (s *system) cli(args ...string) (string, error) {
+	return s.cliAt(s.controls, args...)
+}
+
+// cliAt runs a command of operators that knows only some control members.
+func (s *system) cliAt(members []*process, args ...string) (string, error) {
 	cmd := exec.Command(program, args...)
 	var list []string
-	for _, c := range s.controls {
+	for _, c := range members {
 		list = append(list, c.peers)
 	}
 	cmd.Env = append(os.Environ(), "CAMPHORRIDGE_CONTROL="+strings.Join(list, ","))
@@ -344,9 +355,15 @@
 		fmt.Fprintf(&b, "[pool %s]\ninstances = %d\n", p, instances)
 	}
 	fmt.Fprint(&b, "[disruption]\nmax-unavailable = 1\nbudget-ms = 600000\nwindow-ms = 3600000\n")
-	file := filepath.Join(s.dir, customer+".ini")
-	assert.NilError(s.t, os.WriteFile(file, []byte(b.String()), 0o600))
-	s.must("contract", "apply", file, "--author", "test")
+	s.must("contract", "apply", s.write(customer+".ini", b.String()), "--author", "test")
+}
+
+// write writes a file for the command line and returns its path.
+func (s *system) write(name, text string) string {
+	s.t.Helper()
+	file := filepath.Join(s.dir, name)
+	assert.NilError(s.t, os.WriteFile(file, []byte(text), 0o600))
+	return file
 }
 
 // callerAddrs lists the callers' addresses of the entry processes of a zone,
