--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -117,6 +117,19 @@
 	p.keep(u)
 }
 
+// Start starts an upstream that is absent, under a higher incarnation than
+// before, as after a repair.
+func (p *Platform) Start(o Options) error {
+	u, err := Start(o)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams[o.Instance] = u
+	return nil
+}
+
 func (p *Platform) take(instance string) *Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/tests/member_test.go
@@ -0,0 +1,171 @@
+package tests
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/internal/stand"
+)
+
+// announcement is a valid announcement of an instance in zone za.
+func announcement(instance, address string) url.Values {
+	return url.Values{
+		"instance": {instance}, "zone": {"za"}, "rack": {"za-r9"}, "pool": {"portal"}, "address": {address},
+		"slots": {"8"}, "connections": {"64"}, "incarnation": {"5"}, "state": {"serving"}, "health-path": {"/health"},
+	}
+}
+
+// with returns a copy of a form with other values.
+func with(form url.Values, pairs ...string) url.Values {
+	c := maps.Clone(form)
+	for i := 0; i < len(pairs); i += 2 {
+		c[pairs[i]] = []string{pairs[i+1]}
+	}
+	return c
+}
+
+// announce sends a form to an entry process and returns the status and the
+// reason.
+func announce(t *testing.T, e *process, body string) (int, string) {
+	t.Helper()
+	resp, err := probes.Post("http://"+e.upstreams+"/announce", "application/x-www-form-urlencoded", strings.NewReader(body))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	v, err := url.ParseQuery(strings.TrimSpace(string(b)))
+	assert.NilError(t, err)
+	return resp.StatusCode, v.Get("reason")
+}
+
+// TestUpstreamReplaced guards against requests that are lost for good with a
+// killed upstream, and against a successor under the same name that is never
+// used or is confused with the process before it.
+func TestUpstreamReplaced(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	f := s.platform["za"]
+	o := f.Upstream("za-i00").Options
+	o.Address = f.Upstream("za-i00").Addr()
+	f.Kill("za-i00")
+	for _, e := range s.callerAddrs("za") {
+		s.wait(e+" to serve without it", func() bool {
+			for range 10 {
+				if status, _, _, err := call(t, e, "merge", nil); err != nil || status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	assert.NilError(t, f.Start(o))
+	successor := f.Upstream("za-i00")
+	for _, e := range s.entries[:3] {
+		s.wait(e.name+" to use the successor", func() bool {
+			_, _, body, err := call(t, e.callers, "merge", nil)
+			return err == nil && strings.HasPrefix(body, "za-i00 ")
+		})
+		old := with(announcement("za-i00", o.Address), "pool", "merge", "rack", "za-r0", "incarnation", "1")
+		status, reason := announce(t, e, old.Encode())
+		assert.Equal(t, status, http.StatusConflict)
+		assert.Assert(t, strings.Contains(reason, "incarnation"), "%s", reason)
+	}
+	assert.Assert(t, len(successor.Record()) >= 3)
+	assert.Equal(t, successor.Rejected(), "")
+}
+
+// TestContradictingAnnouncements guards against an instance that serves two
+// pools, or two processes under one name, because an entry process believed
+// the second of two announcements.
+func TestContradictingAnnouncements(t *testing.T) {
+	s := serving(t, threeZones("merge"))
+	first := announcement("za-x00", s.host()+":9000")
+	status, reason := announce(t, s.find("e1"), first.Encode())
+	assert.Equal(t, status, http.StatusOK, "%s", reason)
+	held := s.platform["za"].Upstream("za-i00")
+	tests := []struct{ name, field, value string }{
+		{"another pool", "pool", "merge"},
+		{"another address", "address", s.host() + ":9000"},
+		{"a lower incarnation", "incarnation", "4"},
+		{"an address in use", "address", held.Addr()},
+		{"another zone", "zone", "zb"},
+	}
+	for _, tt := range tests {
+		// The other entry processes of the zone hear of it from the first.
+		for _, e := range s.entries[:3] {
+			s.wait(e.name+" to refuse "+tt.name, func() bool {
+				// The lease must not lapse meanwhile.
+				kept, _ := announce(t, s.find("e1"), first.Encode())
+				assert.Equal(t, kept, http.StatusOK)
+				if e.name != "e1" && !s.hears(e, "za-x00") {
+					return false
+				}
+				status, reason = announce(t, e, with(first, tt.field, tt.value).Encode())
+				return true
+			})
+			assert.Equal(t, status, http.StatusConflict, "%s to %s", tt.name, e.name)
+			assert.Assert(t, reason != "")
+		}
+	}
+	s.wait("the instance in its first pool", func() bool { return s.instance("za-x00").Pool == "portal" })
+	for _, e := range s.callerAddrs("za") {
+		_, _, body, err := call(t, e, "merge", nil)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(body, "za-i00 "), "%s", body)
+	}
+}
+
+// hears reports whether an entry process recorded that it heard an instance.
+func (s *system) hears(e *process, instance string) bool {
+	resp, err := probes.Get("http://" + e.admin + "/events")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return err == nil && strings.Contains(string(b), instance)
+}
+
+// TestMalformedAnnouncements guards against announcements that crash an entry
+// process or enter the fleet half understood.
+func TestMalformedAnnouncements(t *testing.T) {
+	s := serving(t, threeZones("merge"))
+	good := announcement("za-x00", s.host()+":9000")
+	tests := []struct{ name, field, value string }{
+		{"no instance", "instance", ""},
+		{"instance with a slash", "instance", "a/b"},
+		{"long name", "instance", strings.Repeat("a", 200)},
+		{"no zone", "zone", ""},
+		{"no pool", "pool", ""},
+		{"address without port", "address", "127.0.0.1"},
+		{"address by name", "address", "localhost:80"},
+		{"no slots", "slots", "0"},
+		{"too many slots", "slots", "99999999999999999999"},
+		{"fewer connections than slots", "connections", "4"},
+		{"negative incarnation", "incarnation", "-1"},
+		{"incarnation of letters", "incarnation", "x"},
+		{"unknown state", "state", "gone"},
+		{"health path without slash", "health-path", "health"},
+	}
+	e := s.find("e1")
+	for _, tt := range tests {
+		status, reason := announce(t, e, with(good, tt.field, tt.value).Encode())
+		assert.Equal(t, status, http.StatusBadRequest, tt.name)
+		assert.Assert(t, strings.Contains(reason, tt.field), "%s: %s", tt.name, reason)
+	}
+	for _, body := range []string{"", "%zz", strings.Repeat("a=b&", 10_000), "{\"instance\":\"x\"}"} {
+		status, reason := announce(t, e, body)
+		assert.Equal(t, status, http.StatusBadRequest)
+		assert.Assert(t, reason != "")
+	}
+	status, outcome, _, err := call(t, e.callers, "merge", http.Header{stand.IDHeader: {"after"}})
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprint(status, outcome), "200ran")
+	assert.Equal(t, len(s.instances()), 3)
+}
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -92,6 +92,62 @@
 	}
 }
 
+// TestKeyedRequestsUnderLeaderKill guards against a keyed request that runs
+// twice, or runs although it was refused, when the leader that holds the claims
+// dies: all are sent through all entry processes, and the refused ones again.
+func TestKeyedRequestsUnderLeaderKill(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	load := stand.Load{
+		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme", Requests: 900, Workers: 8,
+		Keyed: true, Timeout: 20 * time.Second, Prefix: "key-",
+	}
+	sums := make(chan stand.Summary, 1)
+	go func() { sums <- load.Run(context.Background()) }()
+	for _, n := range []int{100, 300} {
+		s.wait("requests to run", func() bool { return s.runsWith("key-") >= n })
+		old := s.leader()
+		s.kill(old.name)
+		s.wait("more requests to run", func() bool { return s.runsWith("key-") >= n+100 })
+		s.run(old)
+		s.caughtUp(old)
+	}
+	sum := <-sums
+	assert.Equal(t, len(sum.Answers), 900)
+	runs := s.runsByID()
+	var refused []string
+	for _, a := range sum.Answers {
+		assert.NilError(t, a.Err)
+		switch a.Outcome {
+		case "ran":
+			assert.Equal(t, runs[a.ID], 1, "%s", a.ID)
+		case "not-run":
+			assert.Equal(t, runs[a.ID], 0, "%s was refused and ran", a.ID)
+			refused = append(refused, a.ID)
+		default:
+			t.Fatalf("%s ended with status %d, outcome %q", a.ID, a.Status, a.Outcome)
+		}
+	}
+	t.Logf("%d were refused: %s", len(refused), sum)
+	for i, id := range refused {
+		h := http.Header{stand.IDHeader: {id}, "Idempotency-Key": {id}}
+		s.wait(id+" to run", func() bool {
+			_, outcome, _, err := call(t, s.entries[i%len(s.entries)].callers, "merge", h)
+			return err == nil && outcome == "ran"
+		})
+	}
+	for id, n := range s.runsByID() {
+		assert.Assert(t, n == 1 || !strings.HasPrefix(id, "key-"), "%s ran %d times", id, n)
+	}
+}
+
+func (s *system) runsByID() map[string]int {
+	runs := map[string]int{}
+	for _, r := range s.record() {
+		runs[r.ID]++
+	}
+	return runs
+}
+
 // TestGracefulStop guards against a planned stop that cuts off requests: each
 // entry process and each control member is stopped under load in turn.
 func TestGracefulStop(t *testing.T) {
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +29,7 @@
 		Phase      string `json:"phase"`
 		Reason     string `json:"reason"`
 		Maintained int64  `json:"maintained-ms"`
+		Since      int64  `json:"since-ms"`
 	}
 	declarationView struct {
 		Name       string `json:"name"`
@@ -82,6 +82,16 @@
 	return v.Instances
 }
 
+func (s *system) instance(id string) instanceView {
+	s.t.Helper()
+	for _, i := range s.instances() {
+		if i.Instance == id {
+			return i
+		}
+	}
+	return instanceView{}
+}
+
 // declarations returns the declared maintenance by name.
 func (s *system) declarations() map[string]declarationView {
 	s.t.Helper()
@@ -206,9 +216,3 @@
 		return s.metrics(p)["commit_index"] >= want
 	})
 }
-
-// logged reports whether a process wrote the text to its log.
-func (s *system) logged(p *process, text string) bool {
-	b, err := os.ReadFile(p.log)
-	return err == nil && strings.Contains(string(b), text)
-}
