--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -83,7 +83,9 @@
 		return err
 	}
 	m.senders.Members([]raft.Member{x})
-	return d.Join(ctx, x)
+	members, err := d.Join(ctx, x)
+	m.senders.Members(members)
+	return err
 }
 
 // Hello says who this process is. It counts as initialised once it has a
