Lend spare instances to pools in a surge, by measured demand

Cause: the decision about surges was not fed by anything. Change: entry processes report running, waiting and refused requests by pool each second; the leader sums them, asks package plan and gives the extras to the assignment; [capacity] surge and surge-keep choose the preference. Result: TestSurgeMovesSpareInstances with processes passes: instances pass from the spare pool to one pool in its peak, to the next and back, with no request of two pools on one instance at once and no outcome unknown.

--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -22,6 +22,7 @@
 	opInstance
 	opLive
 	opFelt
+	opDemand
 )
 
 // command is a call that the duty answers; the fields of its op are set.
@@ -40,6 +41,7 @@
 	known    bool
 	live     []model.Announcement
 	felt     model.Felt
+	demand   []model.PoolDemand
 	// reply is closed once the command was carried out.
 	reply chan struct{}
 }
@@ -65,6 +67,8 @@
 		}
 	case opInstance:
 		c.instance, c.known = d.table.Instances[c.instance.ID]
+	case opDemand:
+		c.demand = d.demand()
 	case opFelt:
 		c.felt = d.felt.take()
 	case opLive:
--- /dev/null
+++ b/core/coord/entry/demand.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/route"
+)
+
+// Demand returns what is asked of each pool at this moment, in order of the
+// pools. Its cost follows the number of upstreams and of the customers' pools.
+func (d *Dispatcher[P, Q]) Demand() []model.PoolDemand {
+	return d.call(&command{op: opDemand}).demand
+}
+
+func (d *Dispatcher[P, Q]) demand() []model.PoolDemand {
+	byPool := map[model.Pool]*model.PoolDemand{}
+	of := func(p model.Pool) *model.PoolDemand {
+		x := byPool[p]
+		if x == nil {
+			x = &model.PoolDemand{Pool: p, Typical: d.gate.Typical(p)}
+			byPool[p] = x
+		}
+		return x
+	}
+	d.router.Each(func(u *route.Upstream) {
+		if u.Running > 0 && u.Pool != "" {
+			of(u.Pool).Running += u.Running
+		}
+	})
+	d.gate.Each(func(a *admit.Account[*ask]) {
+		if a.Waiting > 0 {
+			a.EachWaiting(func(p model.Pool, n int) { of(p).Waiting += n })
+		}
+	})
+	for p, n := range d.felt.turned {
+		of(p).Refused += n
+	}
+	clear(d.felt.turned)
+	all := make([]model.PoolDemand, 0, len(byPool))
+	for _, x := range byPool {
+		all = append(all, *x)
+	}
+	slices.SortFunc(all, func(a, b model.PoolDemand) int { return cmp.Compare(a.Pool, b.Pool) })
+	return all
+}
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -189,7 +189,7 @@
 
 func (d *Dispatcher[P, Q]) refuse(a *ask, r Refusal) {
 	d.counts.Refused++
-	d.felt.refused(a.request.Customer, r.Kind)
+	d.felt.refused(a.request.Customer, a.request.Pool, r.Kind)
 	if r.Kind != RefusalUnknown && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
 		d.refusals[refused{a.request.Customer, a.request.Pool, r.Reason}]++
 	}
--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -13,12 +13,15 @@
 type tally struct {
 	customers map[model.Customer]*model.CustomerFelt
 	instances map[model.InstanceID]*model.InstanceTally
+	// turned counts the refusals by pool since the last report of demand.
+	turned map[model.Pool]int
 }
 
 func newTally() tally {
 	return tally{
 		customers: map[model.Customer]*model.CustomerFelt{},
 		instances: map[model.InstanceID]*model.InstanceTally{},
+		turned:    map[model.Pool]int{},
 	}
 }
 
@@ -33,9 +36,10 @@
 
 // refused counts a refusal that the fleet, and not the contract, is the reason
 // for.
-func (t *tally) refused(c model.Customer, k RefusalKind) {
+func (t *tally) refused(c model.Customer, p model.Pool, k RefusalKind) {
 	if k == RefusalCapacity || k == RefusalDeadline {
 		t.customer(c).Suffered++
+		t.turned[p]++
 	}
 }
 
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -32,6 +32,8 @@
 	Drained model.Version
 	Live    []model.Announcement
 	Gone    []model.InstanceID
+	// Demand is what callers ask of each pool at the time of the report.
+	Demand []model.PoolDemand
 	// Felt is empty in most reports; see FeltInterval.
 	Felt model.Felt
 }
@@ -57,6 +59,7 @@
 	out         R
 	status      func() Status
 	felt        func() model.Felt
+	demand      func() []model.PoolDemand
 	feltAt      clock.Millis
 	clock       clock.Clock
 	done        chan struct{}
@@ -71,9 +74,9 @@
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.Felt, c clock.Clock) *Reporter[R] {
+func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.Felt, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
-		self: self, incarnation: incarnation, out: out, status: status, felt: felt, clock: c,
+		self: self, incarnation: incarnation, out: out, status: status, felt: felt, demand: demand, clock: c,
 		done: make(chan struct{}), sent: map[model.InstanceID]model.Announcement{},
 	}
 }
@@ -104,6 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout.Duration())
 	defer cancel()
 	r.lastTime = now
+	rep.Demand = r.demand()
 	if now-r.feltAt >= FeltInterval {
 		r.feltAt = now
 		rep.Felt = r.felt()
--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -64,7 +64,7 @@
 // seeFelt tells the board what callers feel and how the instances fare, so
 // that waves slow down, or stop when what they touched fails more than its
 // peers.
-func (m *Mover[G, P, C, J, A]) seeFelt(now clock.Millis) {
+func (m *Mover[G, P, C, J, A, S]) seeFelt(now clock.Millis) {
 	f := &m.felt
 	if now-f.at < feltInterval {
 		return
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -45,14 +45,14 @@
 }
 
 // Mover is the duty. Its methods may be called from any goroutine.
-type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy] struct {
+type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
 	// Name is the author of the mover's changes.
 	Name     string
 	Entries  []model.Member
 	group    G
 	platform P
 	board    *Board[C, J]
-	capacity *Capacity[A]
+	capacity *Capacity[A, S]
 	clock    clock.Clock
 	events   func(model.Event)
 	in       *ring.Ring[input]
@@ -95,8 +95,8 @@
 }
 
 // New returns a mover; Run must be called for it to do anything.
-func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy](name string, entries []model.Member, g G, p P, b *Board[C, J], q *Capacity[A], c clock.Clock, events func(model.Event)) *Mover[G, P, C, J, A] {
-	m := &Mover[G, P, C, J, A]{
+func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser](name string, entries []model.Member, g G, p P, b *Board[C, J], q *Capacity[A, S], c clock.Clock, events func(model.Event)) *Mover[G, P, C, J, A, S] {
+	m := &Mover[G, P, C, J, A, S]{
 		Name: name, Entries: entries, group: g, platform: p, board: b, capacity: q, clock: c, events: events,
 		in: ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
 	}
@@ -105,7 +105,7 @@
 }
 
 // reset forgets what belongs to a term: a new leader hears all reports anew.
-func (m *Mover[G, P, C, J, A]) reset(term uint64) {
+func (m *Mover[G, P, C, J, A, S]) reset(term uint64) {
 	m.term = term
 	m.registry = NewRegistry()
 	m.table = emptyTable()
@@ -124,7 +124,7 @@
 
 // followTerm starts anew when this member leads in another term than before,
 // and reports whether it leads.
-func (m *Mover[G, P, C, J, A]) followTerm() bool {
+func (m *Mover[G, P, C, J, A, S]) followTerm() bool {
 	term, ok := m.group.Leads()
 	if ok && term != m.term {
 		m.reset(term)
@@ -133,12 +133,12 @@
 }
 
 // Report takes a report of an entry process; false when the ring is full.
-func (m *Mover[G, P, C, J, A]) Report(r follow.Report) bool {
+func (m *Mover[G, P, C, J, A, S]) Report(r follow.Report) bool {
 	return m.in.Put(input{report: &r})
 }
 
 // Status returns what the mover knows of the entry processes.
-func (m *Mover[G, P, C, J, A]) Status(ctx context.Context) Status {
+func (m *Mover[G, P, C, J, A, S]) Status(ctx context.Context) Status {
 	answer := make(chan Status, 1)
 	if !m.in.PutWait(input{status: answer}, m.ended) {
 		return Status{}
@@ -153,13 +153,13 @@
 }
 
 // Refused is the number of reports that found a full ring.
-func (m *Mover[G, P, C, J, A]) Refused() int64 { return m.in.Refused() }
+func (m *Mover[G, P, C, J, A, S]) Refused() int64 { return m.in.Refused() }
 
 // Stop ends Run.
-func (m *Mover[G, P, C, J, A]) Stop() { close(m.done) }
+func (m *Mover[G, P, C, J, A, S]) Stop() { close(m.done) }
 
 // Run takes reports and makes passes until Stop.
-func (m *Mover[G, P, C, J, A]) Run() error {
+func (m *Mover[G, P, C, J, A, S]) Run() error {
 	defer close(m.ended)
 	tick := m.clock.After(passInterval)
 	for {
@@ -178,7 +178,7 @@
 }
 
 // take handles an input and reports whether a pass may find something new.
-func (m *Mover[G, P, C, J, A]) take(i input) bool {
+func (m *Mover[G, P, C, J, A, S]) take(i input) bool {
 	if i.status != nil {
 		i.status <- Status{Processes: m.registry.List(), Waits: append([]Wait(nil), m.waits...)}
 		return false
@@ -189,5 +189,6 @@
 	before := m.registry.Processes[i.report.Process].Drained
 	m.registry.Take(*i.report, m.clock.Now())
 	m.felt.add(i.report.Felt)
+	m.capacity.Report(i.report.Process, i.report.Demand, m.clock.Now())
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
 }
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -42,7 +42,7 @@
 	return nil
 }
 
-type testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread]
+type testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread, plan.QueueOnly]
 
 // world is a mover with two entry processes of one zone.
 type world struct {
@@ -66,7 +66,7 @@
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
 	set := maint.Settings{StepMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, RetryMillis: 1000}
 	board := NewBoard(maint.FullSpeed{}, maint.Never{}, set)
-	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000)
+	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000, NewSurges(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New("c1", entries, w.group, w.platform, board, capacity, clk.Clock(), func(model.Event) {})
 	for i := range 8 {
 		id := model.InstanceID(fmt.Sprintf("i%d", i))
--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -12,7 +12,8 @@
 
 // Capacity decides moves between pools by package plan. It follows the table
 // by what changed and decides only after a change.
-type Capacity[A plan.Policy] struct {
+type Capacity[A plan.Policy, S plan.Chooser] struct {
+	*Surges[S]
 	policy A
 	set    plan.Settings
 	// RepairAfter is the time that a lost instance is waited for before another
@@ -28,23 +29,24 @@
 }
 
 // NewCapacity returns a capacity decision with the policy given.
-func NewCapacity[A plan.Policy](p A, set plan.Settings, repairAfter clock.Millis) *Capacity[A] {
-	c := &Capacity[A]{policy: p, set: set, RepairAfter: repairAfter}
+func NewCapacity[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *Capacity[A, S] {
+	c := &Capacity[A, S]{Surges: s, policy: p, set: set, RepairAfter: repairAfter}
 	c.Reset()
 	return c
 }
 
 // Reset forgets everything, for a new term.
-func (c *Capacity[A]) Reset() {
+func (c *Capacity[A, S]) Reset() {
 	c.book = plan.NewBook(nil)
 	c.contracts = map[model.Customer]model.Contract{}
 	c.lost = map[model.InstanceID]model.Instance{}
 	c.last = plan.Assignment{}
 	c.dirty = false
+	c.Surges.Reset()
 }
 
 // Follow takes what changed in the table.
-func (c *Capacity[A]) Follow(d model.Delta) {
+func (c *Capacity[A, S]) Follow(d model.Delta) {
 	for _, x := range d.Contracts {
 		c.contracts[x.Customer] = x
 	}
@@ -73,7 +75,7 @@
 // Moves returns the releases that start moves, and what the moves cannot
 // reach. It decides anew only after a change, or when a lost instance has been
 // waited for.
-func (c *Capacity[A]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
+func (c *Capacity[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
 	for id, i := range c.lost {
 		if now-i.Lost >= c.RepairAfter {
 			c.book.SetInstance(i, true)
@@ -81,11 +83,12 @@
 			c.dirty = true
 		}
 	}
-	if !c.dirty {
+	extras, changed := c.Extras(t, now)
+	if !c.dirty && !changed {
 		return nil, c.waits()
 	}
 	c.dirty = false
-	c.last = plan.Decide(c.policy, c.set, c.book, nil)
+	c.last = plan.Decide(c.policy, c.set, c.book, extras)
 	var steps []model.InstanceStep
 	for _, m := range c.last.Moves {
 		i := t.Instances[m.Instance]
@@ -99,15 +102,18 @@
 	return steps, c.waits()
 }
 
-func (c *Capacity[A]) waits() []Wait {
+func (c *Capacity[A, S]) waits() []Wait {
 	var waits []Wait
 	for _, g := range c.last.Gaps {
 		waits = append(waits, Wait{
 			Reason: fmt.Sprintf("pool %s: %s %s: %d of %d: %s", g.Pool, g.Kind, g.Subject, g.Have, g.Need, g.Reason),
 		})
 	}
+	for _, r := range c.reasons {
+		waits = append(waits, Wait{Reason: r})
+	}
 	return waits
 }
 
 // Retry makes the next call decide again, after steps that were not applied.
-func (c *Capacity[A]) Retry() { c.dirty = true }
+func (c *Capacity[A, S]) Retry() { c.dirty = true }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -19,7 +19,7 @@
 
 // pass brings the mover's copy of the table up to date and takes the steps
 // that are due.
-func (m *Mover[G, P, C, J, A]) pass() {
+func (m *Mover[G, P, C, J, A, S]) pass() {
 	if !m.followTerm() {
 		m.waits = nil
 		return
@@ -67,7 +67,7 @@
 }
 
 // refresh follows the replicated state by its deltas.
-func (m *Mover[G, P, C, J, A]) refresh(now clock.Millis) bool {
+func (m *Mover[G, P, C, J, A, S]) refresh(now clock.Millis) bool {
 	ctx, cancel := m.deadline()
 	defer cancel()
 	var c Changed
@@ -93,7 +93,7 @@
 }
 
 // note keeps the sets of instances under way.
-func (m *Mover[G, P, C, J, A]) note(i model.Instance, now clock.Millis) {
+func (m *Mover[G, P, C, J, A, S]) note(i model.Instance, now clock.Millis) {
 	delete(m.moving, i.ID)
 	delete(m.away, i.ID)
 	switch {
@@ -113,7 +113,7 @@
 }
 
 // see tells the board what is known of an instance, when that changed.
-func (m *Mover[G, P, C, J, A]) see(id model.InstanceID, s maint.Seen) {
+func (m *Mover[G, P, C, J, A, S]) see(id model.InstanceID, s maint.Seen) {
 	if m.seen[id] == s {
 		return
 	}
@@ -123,7 +123,7 @@
 
 // seeZones counts the instances of zones that fell silent as lost, without
 // marking them in the log, and takes that back when a zone reports again.
-func (m *Mover[G, P, C, J, A]) seeZones(now clock.Millis) {
+func (m *Mover[G, P, C, J, A, S]) seeZones(now clock.Millis) {
 	if now-m.began < warmUp {
 		return
 	}
@@ -150,7 +150,7 @@
 }
 
 // seeUnderWay tells the board how far the instances in maintenance are.
-func (m *Mover[G, P, C, J, A]) seeUnderWay() {
+func (m *Mover[G, P, C, J, A, S]) seeUnderWay() {
 	for id := range m.away {
 		i := m.table.Instances[id]
 		s := keep(m.seen[id], maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
@@ -166,7 +166,7 @@
 }
 
 // finishMoves returns the steps of the moves that were confirmed.
-func (m *Mover[G, P, C, J, A]) finishMoves() ([]model.InstanceStep, []Wait) {
+func (m *Mover[G, P, C, J, A, S]) finishMoves() ([]model.InstanceStep, []Wait) {
 	var steps []model.InstanceStep
 	var waits []Wait
 	for id := range m.moving {
@@ -180,7 +180,7 @@
 	return first(steps), waits
 }
 
-func (m *Mover[G, P, C, J, A]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
+func (m *Mover[G, P, C, J, A, S]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for _, s := range plan.Steps {
 		if step, ok := FromPlan(s, m.table.Instances[s.Instance], m.registry, now); ok {
@@ -192,7 +192,7 @@
 
 // planWaits turns the waits, stops and late deadlines of a plan into waits for
 // operators.
-func (m *Mover[G, P, C, J, A]) planWaits(plan maint.Plan) []Wait {
+func (m *Mover[G, P, C, J, A, S]) planWaits(plan maint.Plan) []Wait {
 	var waits []Wait
 	for id := range m.away {
 		i := m.table.Instances[id]
@@ -222,7 +222,7 @@
 }
 
 // reboots asks the platform for the reboots that have not shown an effect.
-func (m *Mover[G, P, C, J, A]) reboots(now clock.Millis) {
+func (m *Mover[G, P, C, J, A, S]) reboots(now clock.Millis) {
 	for id := range m.away {
 		i := m.table.Instances[id]
 		if i.Phase != model.PhaseMaintenance || m.seen[id].Restarted {
@@ -236,7 +236,7 @@
 	}
 }
 
-func (m *Mover[G, P, C, J, A]) reboot(i model.Instance) {
+func (m *Mover[G, P, C, J, A, S]) reboot(i model.Instance) {
 	ctx, cancel := m.deadline()
 	defer cancel()
 	detail := "asked the platform for a reboot"
@@ -247,7 +247,7 @@
 }
 
 // propose reports false when the steps were not applied.
-func (m *Mover[G, P, C, J, A]) propose(steps []model.InstanceStep) bool {
+func (m *Mover[G, P, C, J, A, S]) propose(steps []model.InstanceStep) bool {
 	if len(steps) == 0 {
 		return true
 	}
@@ -266,6 +266,6 @@
 	return true
 }
 
-func (m *Mover[G, P, C, J, A]) deadline() (context.Context, context.CancelFunc) {
+func (m *Mover[G, P, C, J, A, S]) deadline() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), callTimeout.Duration())
 }
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -222,6 +222,16 @@
 	}
 }
 
+// EachWaiting calls f for every pool with the number of the customer's queued
+// requests, where there are any.
+func (a *Account[R]) EachWaiting(f func(p model.Pool, n int)) {
+	for p, l := range a.lines {
+		if l.length > 0 {
+			f(p, l.length)
+		}
+	}
+}
+
 // Start counts a request that runs without having waited.
 func (g *Gate[P, R]) Start(l *Line[R]) {
 	l.Account.Running++
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -1,5 +1,7 @@
 package model
 
+import "camphorridge/core/state/clock"
+
 // Felt is what an entry process saw of callers and instances since it was
 // last asked.
 type Felt struct {
@@ -24,3 +26,16 @@
 	// Failures is at most Calls.
 	Failures int64
 }
+
+// PoolDemand is what callers ask of a pool, as one entry process sees it.
+type PoolDemand struct {
+	Pool Pool
+	// Running and Waiting are requests in flight and in queues.
+	Running int
+	Waiting int
+	// Refused counts the requests that were refused for lack of capacity or
+	// time since the last report.
+	Refused int
+	// Typical is the usual run time of a request; 0 while unknown.
+	Typical clock.Millis
+}
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -94,7 +94,7 @@
 		name  string
 		w     Weights
 		sizes []int
-	}{{"pruefkette", timeFirst(), fleets[0].sizes}, {"pomar-alto", bufferFirst(), fleets[1].sizes}} {
+	}{{"pruefkette", RolloutFirst(), fleets[0].sizes}, {"pomar-alto", BufferFirst(), fleets[1].sizes}} {
 		surges(b, u.name+"/queue-only", QueueOnly{}, u.w, u.sizes)
 		surges(b, u.name+"/eager", Eager{}, u.w, u.sizes)
 		surges(b, u.name+"/cheapest", Cheapest{}, u.w, u.sizes)
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -11,20 +11,6 @@
 	"camphorridge/core/state/model"
 )
 
-// timeFirst and bufferFirst are the preferences of the two users.
-func timeFirst() Weights {
-	return Weights{
-		WaitCost: 1, RefuseCost: 20, BufferCost: 0.2, MoveCost: 5, MoveMillis: 3 * clock.Second, PeakMillis: 12 * clock.Second,
-		PeakEveryMillis: clock.Minute, HoldMillis: 10 * clock.Second, LowPercent: 70, Keep: 4,
-	}
-}
-
-func bufferFirst() Weights {
-	w := timeFirst()
-	w.WaitCost, w.RefuseCost, w.BufferCost, w.MoveCost = 0.05, 2, 5, 25
-	return w
-}
-
 // surgeRun is a fleet whose five services peak in turn.
 type surgeRun struct {
 	w        *world
@@ -121,7 +107,7 @@
 func TestSurgeKeepsPromisesAndSettles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newSurge(rapid.Uint64().Draw(t, "seed"), 8, 9, 8, 8, 9)
-		w := timeFirst()
+		w := RolloutFirst()
 		w.Keep = rapid.IntRange(0, 8).Draw(t, "keep")
 		w.HoldMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
 		minutes := 3
@@ -147,7 +133,7 @@
 		w      Weights
 		action Action
 		extras int
-	}{{"time first", timeFirst(), ActionLend, 1}, {"buffer first", bufferFirst(), ActionQueue, 0}} {
+	}{{"time first", RolloutFirst(), ActionLend, 1}, {"buffer first", BufferFirst(), ActionQueue, 0}} {
 		choices, extras := Surge(Cheapest{}, c.w, holdings, []Demand{demand}, 2000)
 		assert.Equal(t, choices[0].Action, c.action, "%s: %v", c.name, choices[0])
 		assert.Equal(t, len(extras), c.extras)
@@ -155,15 +141,15 @@
 	}
 	// A peak that goes on far longer than peaks do is worth lending for under
 	// either preference.
-	choices, _ := Surge(Cheapest{}, bufferFirst(), holdings, []Demand{demand}, 10*clock.Minute)
+	choices, _ := Surge(Cheapest{}, BufferFirst(), holdings, []Demand{demand}, 10*clock.Minute)
 	assert.Equal(t, choices[0].Action, ActionLend)
 	// What is in place stays until demand has been low for long enough.
 	holdings[0].Have, holdings[1].Have = 10, 6
 	demand.Now, demand.HighSince, demand.LowSince = 10, 0, 5000
-	choices, extras := Surge(Cheapest{}, timeFirst(), holdings, []Demand{demand}, 6000)
+	choices, extras := Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 6000)
 	assert.Equal(t, choices[0].Action, ActionKeep)
 	assert.DeepEqual(t, extras, []Extra{{Pool: "p", From: "spare", N: 2}})
-	choices, extras = Surge(Cheapest{}, timeFirst(), holdings, []Demand{demand}, 15000)
+	choices, extras = Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 15000)
 	assert.Equal(t, choices[0].Action, ActionReturn)
 	assert.Equal(t, len(extras), 0)
 }
@@ -171,7 +157,7 @@
 // Guards against donors that give while they need their instances, with a
 // preference that lets pools give up promised ones.
 func TestDonorsKeepWhatTheyUse(t *testing.T) {
-	w := timeFirst()
+	w := RolloutFirst()
 	w.Donate, w.Keep = true, 8
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"q", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
 	for _, c := range []struct {
--- /dev/null
+++ b/core/state/plan/weights.go
@@ -0,0 +1,20 @@
+package plan
+
+import "camphorridge/core/state/clock"
+
+// RolloutFirst are the weights of an operator whose work must not wait: a
+// waiting second costs as much as five seconds of a spare instance.
+func RolloutFirst() Weights {
+	return Weights{
+		WaitCost: 1, RefuseCost: 20, BufferCost: 0.2, MoveCost: 5, MoveMillis: 3 * clock.Second, PeakMillis: 12 * clock.Second,
+		PeakEveryMillis: clock.Minute, HoldMillis: 10 * clock.Second, LowPercent: 70, Keep: 4,
+	}
+}
+
+// BufferFirst are the weights of an operator whose instances are large: an
+// instance is lent only to a long queue.
+func BufferFirst() Weights {
+	w := RolloutFirst()
+	w.WaitCost, w.RefuseCost, w.BufferCost, w.MoveCost = 0.05, 2, 5, 25
+	return w
+}
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -48,6 +48,8 @@
 	Instance string
 	Entry    string
 	Started  clock.Millis
+	// Ended is 0 while the request runs.
+	Ended clock.Millis
 	// Finished says that the handler wrote its whole answer.
 	Finished bool
 	// Cut says that the connection closed before the answer was whole.
@@ -204,6 +206,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running--
+	u.runs[seq].Ended = clk.Now()
 	u.runs[seq].Finished = finished
 	u.runs[seq].Cut = !finished
 }
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -101,6 +101,10 @@
 	// RepairAfterMillis is how long a lost instance is waited for before
 	// another takes its place.
 	RepairAfterMillis clock.Millis
+	// SurgePreference is roll-out-time, buffer-cost or off.
+	SurgePreference string
+	// SurgeKeep is the number of instances that each spare pool never lends.
+	SurgeKeep int
 	// Maintenance times the waves.
 	Maintenance Maintenance
 	// LogLevel is debug, info, warn or error.
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -162,6 +162,12 @@
 	for _, id := range r.Gone {
 		w.Gone = append(w.Gone, string(id))
 	}
+	for _, d := range r.Demand {
+		w.Demand = append(w.Demand, &wirepb.PoolDemand{
+			Pool: string(d.Pool), Running: int64(d.Running), Waiting: int64(d.Waiting),
+			Refused: int64(d.Refused), TypicalMs: int64(d.Typical),
+		})
+	}
 	for _, c := range r.Felt.Customers {
 		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Asks, Suffered: c.Suffered})
 	}
@@ -187,6 +193,12 @@
 	for _, id := range w.GetGone() {
 		r.Gone = append(r.Gone, model.InstanceID(id))
 	}
+	for _, d := range w.GetDemand() {
+		r.Demand = append(r.Demand, model.PoolDemand{
+			Pool: model.Pool(d.GetPool()), Running: int(d.GetRunning()), Waiting: int(d.GetWaiting()),
+			Refused: int(d.GetRefused()), Typical: clock.Millis(d.GetTypicalMs()),
+		})
+	}
 	for _, c := range w.GetCustomers() {
 		r.Felt.Customers = append(r.Felt.Customers, model.CustomerFelt{
 			Customer: model.Customer(c.GetCustomer()), Asks: c.GetAsks(), Suffered: c.GetSuffered(),
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -29,7 +29,7 @@
 // significantly more than its peers, and slows down by what callers feel.
 type (
 	disk       = store.Store[codec.Codec, store.Disk]
-	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Spread]
+	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Spread, plan.Cheapest]
 	keeperDuty = boot.Keeper[*peers.Client, *seat]
 )
 
@@ -102,13 +102,23 @@
 	})
 	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
 		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
-	capacity := mover.NewCapacity(plan.Spread{}, plan.Settings{}, cfg.RepairAfterMillis)
+	capacity := mover.NewCapacity(plan.Spread{}, plan.Settings{}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(string(cfg.Name), cfg.Entries, c.member, newPlatform(cfg.Platforms), board, capacity, clk, c.record)
 	return c, nil
 }
 
 func initialised(s raft.Stored) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
+// surges prefers what the operator gives the most weight to.
+func surges(cfg conf.Control) *mover.Surges[plan.Cheapest] {
+	w := plan.RolloutFirst()
+	if cfg.SurgePreference == "buffer-cost" {
+		w = plan.BufferFirst()
+	}
+	w.Keep = cfg.SurgeKeep
+	return mover.NewSurges(plan.Cheapest{}, w, cfg.SurgePreference != "off")
+}
+
 func waveSettings(m conf.Maintenance) maint.Settings {
 	s := maint.Defaults()
 	s.StepMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -90,7 +90,7 @@
 	}, clk, admit.Fair{}, route.LeastLoaded{})
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
-	e.reporter = follow.NewReporter(self, uint64(clk.Now()), leader, e.status, e.dispatch.Felt, clk)
+	e.reporter = follow.NewReporter(self, uint64(clk.Now()), leader, e.status, e.dispatch.Felt, e.dispatch.Demand, clk)
 	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
--- a/tests/rest_test.go
+++ b/tests/rest_test.go
@@ -34,9 +34,11 @@
 // changes, as the mean over each role, for fleets of two sizes: the slope is
 // the cost of an instance.
 func BenchmarkControlAtRest(b *testing.B) {
-	for _, perZone := range []int{17, 170, 510} {
-		b.Run(fmt.Sprintf("instances=%d", 3*perZone), func(b *testing.B) {
+	for _, c := range []struct{ perZone, lease int }{{17, 3000}, {170, 3000}, {510, 3000}, {17, 15000}, {255, 15000}, {510, 15000}} {
+		perZone := c.perZone
+		b.Run(fmt.Sprintf("instances=%d/lease-ms=%d", 3*perZone, c.lease), func(b *testing.B) {
 			l := threeZones()
+			l.extra = fmt.Sprintf("[limits]\nlease-ms = %d\n", c.lease)
 			for z := range l.upstreams {
 				l.upstreams[z] = strings.Split(strings.Repeat("merge,", perZone-1)+"merge", ",")
 			}
@@ -69,6 +71,7 @@
 		}
 	}
 	n, seconds := float64(len(all)), observed.Seconds()
+	// The metric is in ms, so that 10 ms in a second are 1 %.
 	b.ReportMetric(cpu/n/seconds/10, role+"-core-%")
 	b.ReportMetric(memory/n/(1<<20), role+"-MiB")
 	b.ReportMetric(bytes/n/seconds/1024, role+"-KiB/s")
--- /dev/null
+++ b/tests/surge_test.go
@@ -0,0 +1,102 @@
+package tests
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/internal/stand"
+)
+
+// TestSurgeMovesSpareInstances guards against a surge in which an instance
+// serves two pools, or a request is cut off by a move. Two pools peak in turn,
+// so that instances pass from the spare pool to the one and on to the other.
+func TestSurgeMovesSpareInstances(t *testing.T) {
+	l := threeZones("merge", "audit", "portal", "portal")
+	l.delay = 50 * time.Millisecond
+	l.control = "[capacity]\nsurge-keep = 0\n"
+	s := start(t, l)
+	s.wait("all instances", func() bool {
+		out, err := s.cli("instances")
+		return err == nil && strings.Count(out, " serving ") == 12
+	})
+	s.must("contract", "apply", s.write("acme.ini", `[contract]
+customer = acme
+covers = instance
+queue = 700
+[pool merge]
+instances = 3
+[pool audit]
+instances = 3
+[disruption]
+max-unavailable = 4
+budget-ms = 600000
+window-ms = 3600000
+[spare]
+instances = 6
+pool = portal
+`), "--author", "test")
+	s.ready()
+	for _, pool := range []string{"merge", "audit"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		sums := make(chan stand.Summary, 1)
+		load := stand.Load{
+			Entries: s.callerAddrs(""), Service: pool, Customer: "acme",
+			Requests: 1_000_000, Workers: 120, Timeout: 20 * time.Second, Prefix: "surge-",
+		}
+		go func() { sums <- load.Run(ctx) }()
+		s.wait("spare instances in pool "+pool, func() bool { return s.servingIn(pool) > 3 })
+		time.Sleep(2 * time.Second)
+		cancel()
+		for _, a := range (<-sums).Answers {
+			if a.Err == nil {
+				assert.Assert(t, a.Outcome == "ran" || a.Outcome == "not-run", "%s ended with outcome %q", a.ID, a.Outcome)
+			}
+		}
+	}
+	s.wait("the spare pool to be whole again", func() bool { return s.servingIn("portal") == 6 })
+	s.checkOnePool()
+}
+
+// servingIn is the number of instances that serve a pool.
+func (s *system) servingIn(pool string) int {
+	out, err := s.cli("instances")
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, line := range strings.Split(out, "\n") {
+		f := strings.Fields(line)
+		if len(f) > 5 && f[3] == pool && f[5] == "serving" {
+			n++
+		}
+	}
+	return n
+}
+
+// checkOnePool checks by the upstreams' own records that the requests of two
+// pools never overlap in an instance: a pool's request may start only when
+// those of the pool before have ended.
+func (s *system) checkOnePool() {
+	s.t.Helper()
+	moves := 0
+	last := map[string]stand.Run{}
+	busyUntil := map[string]clock.Millis{}
+	for _, p := range s.platform {
+		for _, r := range p.Record() {
+			before, ok := last[r.Instance]
+			if ok && before.Pool != r.Pool {
+				moves++
+				assert.Assert(s.t, r.Started >= busyUntil[r.Instance],
+					"instance %s began %s of pool %s while requests of pool %s ran", r.Instance, r.ID, r.Pool, before.Pool)
+			}
+			last[r.Instance] = r
+			busyUntil[r.Instance] = max(busyUntil[r.Instance], r.Ended)
+		}
+	}
+	assert.Assert(s.t, moves > 0, "no instance served two pools in turn")
+}
