--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -169,3 +169,37 @@
 		b.ReportMetric(float64(s.Concurrency.Value-42*4), "over-smallest")
 	})
 }
+
+// BenchmarkSeverity reports how each policy judges 300 contracts of one to
+// sixty instances, and how many it accepts that need more instances than are
+// owned.
+func BenchmarkSeverity(b *testing.B) {
+	judged(b, "stated", Stated{})
+	judged(b, "strict", Strict{})
+	judged(b, "form-only", FormOnly{})
+}
+
+func judged[S Severity](b *testing.B, name string, severity S) {
+	b.Run(name, func(b *testing.B) {
+		count := map[Decision]float64{}
+		broken := 0.0
+		f := fleetOf(50, 8)
+		for b.Loop() {
+			clear(count)
+			broken = 0
+			for k := range 300 {
+				c := contract(1+k%60, k%13, model.Domain(k%3))
+				c.MaxUnavailable = k % 5
+				v := Judge(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Question{Contract: c, Fleet: f})
+				count[v.Decision]++
+				if v.Decision != Refuse && Promised(c)+c.Spare > 50 {
+					broken++
+				}
+			}
+		}
+		b.ReportMetric(count[Accept], "accepted")
+		b.ReportMetric(count[AcceptShort], "accepted-short")
+		b.ReportMetric(count[Refuse], "refused")
+		b.ReportMetric(broken, "violations")
+	})
+}
