--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -11,8 +11,9 @@
 	// feltInterval separates two updates of the board.
 	feltInterval = 5 * clock.Second
 	// feltDecay is what remains of the counts after each update, so that they
-	// cover about the last 20 s.
-	feltDecay = 0.75
+	// cover about the last three minutes: peaks are shorter than a maintenance,
+	// and their pressure alone made no difference to the waves.
+	feltDecay = 0.97
 	// feltLeast is the number of requests below which nothing is concluded.
 	feltLeast = 20
 )
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -64,11 +64,21 @@
 	platform map[string]*stand.Platform
 }
 
-// octets gives each system a loopback network of its own, 127.octet.x.y, so
-// that ports never collide.
-var octets struct {
-	sync.Mutex
-	next int
+// claimNetwork finds a loopback network, 127.octet.x.y, that no other system
+// uses, also in test runs beside this one, so that addresses never collide. The
+// listener holds the claim.
+func claimNetwork(t testing.TB) int {
+	t.Helper()
+	for i := range 200 {
+		octet := 10 + (os.Getpid()+i)%200
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:6999", octet))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return octet
+		}
+	}
+	t.Fatal("every loopback network is in use")
+	return 0
 }
 
 func (s *system) host() string {
@@ -98,10 +108,7 @@
 
 func start(t testing.TB, l layout) *system {
 	t.Helper()
-	octets.Lock()
-	octets.next++
-	octet := 10 + (os.Getpid()+octets.next*7)%200
-	octets.Unlock()
+	octet := claimNetwork(t)
 	s := &system{
 		t: t, dir: t.TempDir(), octet: octet,
 		relays: map[string]*relay{}, platform: map[string]*stand.Platform{},
