Bound the stops of a wave of cancellations

Cause: one pass told every cancelled task at once, so that a wave of thousands held up starts and filled the control traffic. Change: at most StopsPerPass stops in a pass, the rest after a pause; tests and a benchmark of a wave.

--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
@@ -200,3 +201,46 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
 }
+
+// BenchmarkCancel reports the time to take a wave of 5,000 cancellations, half
+// of them of running tasks, and the longest of the passes that tell workers.
+func BenchmarkCancel(b *testing.B) {
+	var taken, longest time.Duration
+	passed := 0
+	for b.Loop() {
+		b.StopTimer()
+		f := newFake(1, 500)
+		set := Defaults()
+		set.LeaseMillis, set.TrialTasks = clock.Day, 100
+		board := NewBoard(WorstFit{}, Declared{}, Peers{Least: 6}, set)
+		f.fill(board)
+		board.SetContract(teamContract(0, 2_500_000))
+		var ids []TaskID
+		for n := range 5000 {
+			x := f.add(0, n, 1000, clock.Hour, 100)
+			ids = append(ids, x.ID)
+			if err := board.Submit(x); err != nil {
+				b.Fatal(err)
+			}
+		}
+		for _, id := range sortedKeys(f.workers) {
+			board.Heard(id, 0, nil)
+		}
+		board.Pass(f.now)
+		b.StartTimer()
+		began := time.Now()
+		board.Cancel(ids...)
+		taken = time.Since(began)
+		longest, passed = 0, 0
+		for len(board.stops) > 0 {
+			f.now += set.StopPauseMillis
+			began = time.Now()
+			board.Pass(f.now)
+			longest = max(longest, time.Since(began))
+			passed++
+		}
+	}
+	b.ReportMetric(float64(taken.Microseconds()), "cancel-us")
+	b.ReportMetric(float64(longest.Microseconds()), "longest-pass-us")
+	b.ReportMetric(float64(passed), "passes")
+}
--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -45,6 +45,8 @@
 	// over lists the tasks that ended, oldest first, so that a name submitted
 	// again is known for a while.
 	over []TaskID
+	// stops lists the cancelled tasks that are still to be told.
+	stops []*task
 	// out collects what calls between passes decided.
 	out Plan
 }
@@ -103,6 +105,7 @@
 // NewBoard returns a board without tasks and workers.
 func NewBoard[F Fit, S Sizer, J Judge](fit F, sizer S, judge J, set Settings) *Board[F, S, J] {
 	set.FailMost, set.Lookahead = max(set.FailMost, 1), max(set.Lookahead, 1)
+	set.StopsPerPass, set.StopPauseMillis = max(set.StopsPerPass, 1), max(set.StopPauseMillis, 1)
 	return &Board[F, S, J]{
 		fit: fit, sizer: sizer, judge: judge, set: set,
 		tasks: map[TaskID]*task{}, workers: map[WorkerID]*worker{}, teams: map[model.Customer]*team{},
@@ -226,7 +229,7 @@
 }
 
 // Cancel ends tasks: waiting ones at once, running ones by a stop that is part
-// of the next pass. Unknown names are ignored.
+// of one of the next passes. Unknown names are ignored.
 func (b *Board[F, S, J]) Cancel(ids ...TaskID) {
 	for _, id := range ids {
 		t := b.tasks[id]
@@ -238,7 +241,7 @@
 			b.finish(t)
 			continue
 		}
-		b.order(t, ActionStop, "cancelled")
+		b.stops = append(b.stops, t)
 	}
 }
 
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -23,6 +23,7 @@
 		b.startWaiting(now)
 	}
 	b.restoreThrottled()
+	b.stopCancelled(now)
 	for _, id := range sortedKeys(b.teams) {
 		b.wait(id, b.teams[id])
 	}
@@ -34,6 +35,25 @@
 	return plan
 }
 
+// stopCancelled tells a bounded number of cancelled tasks to end. Those whose
+// end was ordered before need no second order.
+func (b *Board[F, S, J]) stopCancelled(now clock.Millis) {
+	told := 0
+	for len(b.stops) > 0 && told < b.set.StopsPerPass {
+		t := b.stops[0]
+		b.stops = b.stops[1:]
+		if t.phase != PhaseRunning {
+			continue
+		}
+		b.order(t, ActionStop, "cancelled")
+		b.due.Push(due{at: now + b.set.LeaseMillis/2, task: t.ID})
+		told++
+	}
+	if len(b.stops) > 0 {
+		b.due.Push(due{at: now + b.set.StopPauseMillis})
+	}
+}
+
 // passHold starts the task that room is made for once the room is there, and
 // gives up when it will not be.
 func (b *Board[F, S, J]) passHold(w *worker, now clock.Millis) {
@@ -50,11 +70,6 @@
 // fire handles what fell due: leases that ran out, workers to be tried again,
 // and orders that were not confirmed.
 func (b *Board[F, S, J]) fire(now clock.Millis) {
-	for _, a := range b.out.Actions {
-		if a.Kind == ActionStop || a.Kind == ActionCheckpoint {
-			b.due.Push(due{at: now + b.set.LeaseMillis/2, task: a.Task})
-		}
-	}
 	for b.due.Len() > 0 && b.due.Top().at <= now {
 		d := b.due.Pop()
 		if t := b.tasks[d.task]; t != nil {
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -289,6 +289,51 @@
 	})
 }
 
+// Guards against a wave of cancellations that leaves tasks running or waiting,
+// and against one that holds up urgent work.
+func TestWaveOfCancellations(t *testing.T) {
+	f := newFake(1, 40)
+	set := Defaults()
+	set.StopsPerPass, set.TrialTasks = 20, 100
+	b := NewBoard(WorstFit{}, Declared{}, Peers{Least: 6}, set)
+	f.fill(b)
+	b.SetContract(teamContract(0, 1<<20))
+	b.SetContract(teamContract(1, 1<<20))
+	var ids []TaskID
+	for n := range 1000 {
+		x := f.add(0, n, 1000, clock.Hour, 100)
+		ids = append(ids, x.ID)
+		assert.NilError(t, b.Submit(x))
+	}
+	stops, started := 0, -1
+	for step := range 100 {
+		if step == 10 {
+			b.Cancel(ids...)
+			x := f.add(1, 0, 1000, clock.Second, 100)
+			x.Urgent = true
+			assert.NilError(t, b.Submit(x))
+		}
+		plan := b.Pass(f.now)
+		n := 0
+		for _, a := range plan.Actions {
+			if a.Kind == ActionStop {
+				n++
+			}
+			if a.Kind == ActionStart && a.Task == "t1-00000" && started < 0 {
+				started = step
+			}
+		}
+		stops = max(stops, n)
+		Carry(f, plan.Actions)
+		tick(f, b, 500)
+	}
+	assert.Assert(t, stops <= 2*set.StopsPerPass, "%d stops in one pass", stops)
+	assert.Assert(t, started >= 10 && started <= 16, "urgent work started at step %d", started)
+	for _, id := range ids {
+		assert.Equal(t, b.tasks[id].phase, PhaseOver)
+	}
+}
+
 // Guards against a late report of an earlier leader's start that ends the run
 // of the present one.
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -44,6 +44,11 @@
 	// Lookahead is the number of a team's waiting tasks that are tried when
 	// the first does not fit; at least 1.
 	Lookahead int
+	// StopsPerPass bounds the stops that cancellations lead to in one pass, so
+	// that a wave of them does not hold up starts; the rest follow after
+	// StopPauseMillis.
+	StopsPerPass    int
+	StopPauseMillis clock.Millis
 	// Scan turns the index of free room off: every choice looks at all
 	// workers. It is there to measure what the index saves.
 	Scan bool
@@ -54,6 +59,7 @@
 	return Settings{
 		LeaseMillis: 10 * clock.Second, SkewMillis: clock.Second, CheckpointMillis: 5 * clock.Second,
 		ThrottleMillis: 5 * clock.Second, AsideMillis: 10 * clock.Minute, TrialTasks: 4, TrialMillis: 10 * clock.Second, AsidePercent: 20, FailMost: 3, Lookahead: 8,
+		StopsPerPass: 200, StopPauseMillis: 100,
 	}
 }
 
