Notice losses that a dead entry process hides

Cause: the mover took an instance for present as long as any entry process had reported that it hears it. One that was killed or frozen never takes its report back, so the loss of an instance that it had heard went unnoticed until it returned or the leader changed; no repair was made, and maintenance went on as if the instance were up.

Change: an entry process that stopped reporting while others of its zone go on is quiet, and what it heard makes no instance present. When it reports again, what it heard counts at once. A zone that is silent as a whole is left alone as before.

TestQuietEntryHidesNoLoss fails without the new call and passes with it.

--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -53,6 +53,8 @@
 	mover    *testMover
 	live     map[model.InstanceID]model.Announcement
 	drained  map[model.Process]model.Version
+	// frozen is an entry process that does not report.
+	frozen model.Process
 }
 
 func newWorld(t *testing.T) *world {
@@ -96,6 +98,9 @@
 	for range d / clock.Second {
 		w.clock.Advance(clock.Second)
 		for _, p := range []model.Process{"e1", "e2"} {
+			if p == w.frozen {
+				continue
+			}
 			r := follow.Report{Process: p, Zone: "za", Incarnation: 1, Version: w.group.state.Version, Drained: w.group.state.Version}
 			if v, ok := w.drained[p]; ok {
 				r.Drained = v
@@ -207,3 +212,42 @@
 	assert.Equal(t, w.instance("i8").Phase, model.PhaseServing)
 	assert.Equal(t, w.instance("i8").ID, model.InstanceID("i8"), "the instance was not enrolled")
 }
+
+// TestQuietEntryHidesNoLoss guards against an instance whose loss is never
+// noticed because an entry process that heard it died with it, and against one
+// that is taken for lost although a process that was only frozen hears it.
+func TestQuietEntryHidesNoLoss(t *testing.T) {
+	w := newWorld(t)
+	w.frozen = "e2"
+	w.run(10 * clock.Second)
+	delete(w.live, "i0")
+	w.run(10 * clock.Second)
+	assert.Assert(t, w.instance("i0").Lost != 0, "the loss was not noticed")
+	assert.Assert(t, w.instance("i1").Lost == 0, "e1 hears it")
+	w.live["i0"] = w.live["i1"]
+	a := w.live["i0"]
+	a.Instance = "i0"
+	w.live["i0"] = a
+	w.frozen = ""
+	w.run(3 * clock.Second)
+	assert.Assert(t, w.instance("i0").Lost == 0, "it is heard again")
+}
+
+// TestThawedEntryHearsAgain guards against a loss that is declared because the
+// process which hears an instance was frozen and reports only what changed.
+func TestThawedEntryHearsAgain(t *testing.T) {
+	g := NewRegistry()
+	a := model.Announcement{Instance: "i0", Zone: "za", Incarnation: 1}
+	g.Take(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
+	g.Take(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
+	g.Take(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
+	g.Hush(SilentAfter + 1)
+	_, absent := g.Absent["i0"]
+	assert.Assert(t, absent, "only the frozen process hears it")
+	g.Take(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
+	_, absent = g.Absent["i0"]
+	assert.Assert(t, !absent, "the thawed process hears it")
+	g.Hush(4 * SilentAfter)
+	_, absent = g.Absent["i0"]
+	assert.Assert(t, !absent, "the zone is silent as a whole")
+}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -31,6 +31,7 @@
 	steps := Enrol(m.table, m.registry, now)
 	moved, waits := m.finishMoves()
 	steps = append(steps, moved...)
+	m.registry.Hush(now)
 	if now-m.began >= warmUp {
 		steps = append(steps, MarkLost(m.table, m.registry, now)...)
 	}
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -35,9 +35,13 @@
 	// Fresh holds the instances that were announced since the last Settle and
 	// may have to be enrolled, so that a pass costs what changed.
 	Fresh map[model.InstanceID]bool
-	// Absent holds the watched instances that no entry process hears, with the
-	// time since when.
+	// Absent holds the watched instances that no entry process hears, or only
+	// quiet ones, with the time since when.
 	Absent map[model.InstanceID]clock.Millis
+	// Quiet holds the entry processes that stopped reporting while others of
+	// their zone go on. What they heard last does not make an instance present:
+	// they may never come back, and would hide its loss.
+	Quiet map[model.Process]bool
 }
 
 // LiveInstance is an instance that at least one entry process hears.
@@ -55,6 +59,7 @@
 		Live:      map[model.InstanceID]LiveInstance{},
 		Fresh:     map[model.InstanceID]bool{},
 		Absent:    map[model.InstanceID]clock.Millis{},
+		Quiet:     map[model.Process]bool{},
 	}
 }
 
@@ -74,6 +79,9 @@
 	held.Drained = r.Drained
 	held.Seen = now
 	g.Processes[r.Process] = held
+	if g.Quiet[r.Process] {
+		g.unhush(r.Process)
+	}
 	for _, a := range r.Live {
 		g.hear(r.Process, a, now)
 	}
@@ -84,13 +92,53 @@
 
 // Watch makes an instance absent from now on unless an entry process hears it.
 func (g *Registry) Watch(id model.InstanceID, now clock.Millis) {
-	_, live := g.Live[id]
 	_, absent := g.Absent[id]
-	if !live && !absent {
+	if !absent && !g.present(id) {
 		g.Absent[id] = now
 	}
 }
 
+// present reports whether an entry process that is not quiet hears an
+// instance.
+func (g *Registry) present(id model.InstanceID) bool {
+	for p := range g.Live[id].Heard {
+		if !g.Quiet[p] {
+			return true
+		}
+	}
+	return false
+}
+
+// Hush finds the entry processes that became quiet. Those of a zone that is
+// silent as a whole do not count: it may be partitioned and serve its own
+// callers. Its cost follows the number of entry processes, and the number of
+// instances only when one becomes quiet.
+func (g *Registry) Hush(now clock.Millis) {
+	for _, r := range g.Processes {
+		if g.Quiet[r.Process] || now-r.Seen <= SilentAfter || g.Silent(r.Zone, now) {
+			continue
+		}
+		g.Quiet[r.Process] = true
+		for id, l := range g.Live {
+			if l.Heard[r.Process] {
+				g.Watch(id, now)
+			}
+		}
+	}
+}
+
+// unhush makes present again what an entry process hears that reports again.
+// A process that was only frozen reports no more than what changed.
+func (g *Registry) unhush(p model.Process) {
+	delete(g.Quiet, p)
+	for id, l := range g.Live {
+		if l.Heard[p] {
+			delete(g.Absent, id)
+			g.Fresh[id] = true
+		}
+	}
+}
+
 func (g *Registry) hear(p model.Process, a model.Announcement, now clock.Millis) {
 	l, ok := g.Live[a.Instance]
 	if !ok {
@@ -113,8 +161,8 @@
 	delete(l.Heard, p)
 	if len(l.Heard) == 0 {
 		delete(g.Live, id)
-		g.Watch(id, now)
 	}
+	g.Watch(id, now)
 }
 
 func (g *Registry) forget(p model.Process, now clock.Millis) {
--- a/tests/member_test.go
+++ b/tests/member_test.go
@@ -169,3 +169,17 @@
 	assert.Equal(t, fmt.Sprint(status, outcome), "200ran")
 	assert.Equal(t, len(s.instances()), 3)
 }
+
+// TestLossWithDeadEntry guards against the loss of an upstream that the leader
+// never notices because an entry process that heard it is gone for good.
+func TestLossWithDeadEntry(t *testing.T) {
+	s := serving(t, threeZones("merge", "merge"))
+	s.kill("e3")
+	s.platform["za"].Kill("za-i00")
+	s.wait("the loss to be noticed", func() bool {
+		return strings.HasPrefix(s.instance("za-i00").Reason, "lost:")
+	})
+	for _, id := range []string{"za-i01", "zb-i00", "zc-i00"} {
+		assert.Assert(t, !strings.HasPrefix(s.instance(id).Reason, "lost:"), "%s is up", id)
+	}
+}
