--- a/tests/control_test.go
+++ b/tests/control_test.go
@@ -252,6 +252,24 @@
 	assert.Equal(t, s.runsOf("torn"), 0)
 }
 
+// TestTornAcknowledgedRecord guards against a member that is never a full
+// member again after its disk lost the end of a record that it had
+// acknowledged. The others have the entry and must give it back.
+func TestTornAcknowledgedRecord(t *testing.T) {
+	s := start(t, controlGroup())
+	c, wg := s.stream("torn", 4, 60, nil)
+	wg.Wait()
+	torn := s.follower()
+	s.kill(torn.name)
+	file := newest(t, torn)
+	assert.NilError(t, os.Truncate(file, size(t, file)-3))
+	s.run(torn)
+	_, err := s.declare("afterwards")
+	assert.NilError(t, err)
+	s.caughtUp(torn)
+	c.check(s)
+}
+
 // TestCorruptLogIsRefused guards against a member that goes on with a damaged
 // log as if the entries after the damage had never been acknowledged.
 func TestCorruptLogIsRefused(t *testing.T) {
--- a/tests/pool_test.go
+++ b/tests/pool_test.go
@@ -97,3 +97,71 @@
 	cancel()
 	<-done
 }
+
+// TestMoveWaitsForEveryEntry guards against an instance that serves two pools:
+// a spare instance takes the place of a lost one while an entry process of
+// each zone is frozen, and must stay in its pool until all have confirmed the
+// release. It may run nothing for the new pool before it was assigned to it.
+func TestMoveWaitsForEveryEntry(t *testing.T) {
+	l := threeZones("merge", "merge", "portal")
+	l.control = "[capacity]\nrepair-after-ms = 1000\n"
+	s := start(t, l)
+	s.wait("the instances", func() bool { return len(s.instances()) == 9 })
+	s.must("contract", "apply", s.write("acme.ini", "[contract]\ncustomer = acme\ncovers = instance\nqueue = 700\n"+
+		"[pool merge]\ninstances = 6\n[disruption]\nmax-unavailable = 1\nbudget-ms = 600000\nwindow-ms = 3600000\n"+
+		"[spare]\ninstances = 3\npool = portal\n"), "--author", "test")
+	s.ready()
+	frozen := []string{"e3", "e5", "e7"}
+	for _, e := range frozen {
+		s.signal(e, syscall.SIGSTOP)
+	}
+	s.platform["za"].Kill("za-i00")
+	s.wait("the loss to be noticed", func() bool {
+		return strings.HasPrefix(s.instance("za-i00").Reason, "lost:")
+	})
+	moving := func() string {
+		for _, i := range s.instances() {
+			if i.Pool == "portal" && i.Phase == "releasing" {
+				return i.Instance
+			}
+		}
+		return ""
+	}
+	var id string
+	s.wait("a spare instance to be released", func() bool {
+		id = moving()
+		return id != ""
+	})
+	served := func() int {
+		n := 0
+		for _, r := range s.record() {
+			if r.Instance == id {
+				n++
+			}
+		}
+		return n
+	}
+	deadline := time.Now().Add(3 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, e := range []string{"e1", "e4", "e6"} {
+			_, _, _, err := call(t, s.find(e).callers, "merge", nil)
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, s.instance(id).Pool, "portal")
+	}
+	assert.Equal(t, served(), 0, "%s served pool merge before it was assigned to it", id)
+	for _, e := range frozen {
+		s.signal(e, syscall.SIGCONT)
+	}
+	s.wait(id+" to be assigned", func() bool { return s.instance(id).Pool == "merge" })
+	assigned := s.instance(id).Since
+	s.wait(id+" to serve", func() bool {
+		for _, e := range s.callerAddrs("") {
+			_, _, _, _ = call(t, e, "merge", nil)
+		}
+		return served() > 0
+	})
+	for _, r := range s.record() {
+		assert.Assert(t, r.Instance != id || int64(r.Started) >= assigned, "%s ran before the assignment", id)
+	}
+}
