Let a follower catch up that lost an acknowledged record

Cause: the leader ignored rejections at or below the index that the follower had acknowledged, so a follower whose disk lost its last record never caught up in that term (TestTornAcknowledgedRecord, 62 s until its bound). Ruled out: the store, which truncates the torn record as it should. Change: such a rejection lowers the follower's match.

--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -172,10 +172,19 @@
 }
 
 // onReject moves back to the point where the logs may agree. Rejections of
-// appends that were answered meanwhile are ignored.
+// appends that were answered meanwhile are ignored, unless the follower has
+// less than it had acknowledged: its disk lost a record, and without going
+// back it would never catch up. A late rejection that looks the same only
+// costs a resend, as a lower match can't raise the commit index.
 func (n *Node) onReject(m Message, p *progress) {
+	lost := m.Index <= p.match && m.Hint < p.match
 	switch {
-	case p.state == stateSnapshot || m.Index <= p.match:
+	case p.state == stateSnapshot || (m.Index <= p.match && !lost):
+		return
+	case lost:
+		hint, _ := n.log.agree(m.Hint, m.LogTerm)
+		p.match = min(p.match, hint)
+		p.probe(p.match + 1)
 		return
 	case p.state == stateProbe && m.Index != p.next-1:
 		return
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -101,6 +101,9 @@
 	// RepairAfterMillis is how long a lost instance is waited for before
 	// another takes its place.
 	RepairAfterMillis clock.Millis
+	// ExchangeMoves bounds the moves of one decision that only spread pools
+	// better.
+	ExchangeMoves int
 	// SurgePreference is roll-out-time, buffer-cost or off.
 	SurgePreference string
 	// SurgeKeep is the number of instances that each spare pool never lends.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -50,6 +50,7 @@
 		[]Key[Control]{platformKey()},
 		[]Key[Control]{
 			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "time that a lost instance is waited for before another takes its place", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
+			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "moves of one decision that only spread the pools better over failure domains; each is a disruption", func(c *Control) *int { return &c.ExchangeMoves }),
 			textKey("capacity", "surge", "roll-out-time", wordRule("roll-out-time", "buffer-cost", "off"), "what counts most when demand exceeds a pool: waiting requests, or idle instances; off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
 			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "instances of each spare pool that are never lent to a surge: the loss that stays covered", func(c *Control) *int { return &c.SurgeKeep }),
 			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.StepMillis }),
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -29,7 +29,7 @@
 // significantly more than its peers, and slows down by what callers feel.
 type (
 	disk       = store.Store[codec.Codec, store.Disk]
-	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Spread, plan.Cheapest]
+	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
 	keeperDuty = boot.Keeper[*peers.Client, *seat]
 )
 
@@ -102,7 +102,7 @@
 	})
 	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
 		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
-	capacity := mover.NewCapacity(plan.Spread{}, plan.Settings{}, cfg.RepairAfterMillis, surges(cfg))
+	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{ExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(string(cfg.Name), cfg.Entries, c.member, newPlatform(cfg.Platforms), board, capacity, clk, c.record)
 	return c, nil
 }
