--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -9,7 +9,8 @@
 
 // Timing of the reporter.
 const (
-	// reportTick is how often the process looks for something to report.
+	// reportTick is how often the process looks for a change of the drained
+	// version, which moves wait for.
 	reportTick clock.Millis = 100
 	// ReportInterval is the longest time between two reports; the leader takes
 	// an entry process for silent after three of them.
@@ -42,7 +43,9 @@
 type Status struct {
 	Version model.Version
 	Drained model.Version
-	Live    []model.Announcement
+	// Live lists the announcements whose lease holds. It is called only for a
+	// report, as its cost follows the number of upstreams.
+	Live func() []model.Announcement
 }
 
 // Reporting sends a report to the leader of the control group and returns the
@@ -52,7 +55,7 @@
 }
 
 // Reporter is the duty that reports to the leader: at once when the drained
-// version or an upstream changed, and otherwise once in ReportInterval.
+// version changed, as moves wait for it, and otherwise once in ReportInterval.
 type Reporter[R Reporting] struct {
 	self        model.Member
 	incarnation uint64
@@ -98,12 +101,11 @@
 
 func (r *Reporter[R]) tick() {
 	s := r.status()
-	rep := r.build(s)
 	now := r.clock.Now()
-	changed := s.Drained != r.lastDrained || len(rep.Live) > 0 || len(rep.Gone) > 0
-	if !changed && now-r.lastTime < ReportInterval {
+	if s.Drained == r.lastDrained && now-r.lastTime < ReportInterval {
 		return
 	}
+	rep := r.build(s)
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout.Duration())
 	defer cancel()
 	r.lastTime = now
@@ -136,8 +138,9 @@
 		Process: r.self.Name, Zone: r.self.Zone, Incarnation: r.incarnation,
 		Version: s.Version, Drained: s.Drained,
 	}
-	live := make(map[model.InstanceID]bool, len(s.Live))
-	for _, a := range s.Live {
+	all := s.Live()
+	live := make(map[model.InstanceID]bool, len(all))
+	for _, a := range all {
 		live[a.Instance] = true
 		if !r.complete || r.sent[a.Instance] != a {
 			rep.Live = append(rep.Live, a)
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -16,7 +16,7 @@
 const (
 	ringSize int = 1024
 	// passInterval bounds how late a step is taken that nothing wakes up.
-	passInterval clock.Millis = 200
+	passInterval clock.Millis = 500
 	// warmUp is the time that a new leader listens before it takes an absent
 	// instance for lost; the entry processes report within a second.
 	warmUp = 5 * clock.Second
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -43,7 +43,7 @@
 			leaseKey(func(c *Control) *clock.Millis { return &c.Limits.LeaseMillis }),
 			drainKey(func(c *Control) *clock.Millis { return &c.Limits.DrainMillis }),
 			intKey("consensus", "election-ms", "ms", "1000", 50, clock.Minute, "a follower that hears nothing from a leader for this long, up to twice that, starts an election", func(c *Control) *clock.Millis { return &c.Consensus.ElectionMillis }),
-			intKey("consensus", "heartbeat-ms", "ms", "200", 10, 20*clock.Second, "interval of the leader's heartbeats; at most a third of election-ms", func(c *Control) *clock.Millis { return &c.Consensus.HeartbeatMillis }),
+			intKey("consensus", "heartbeat-ms", "ms", "300", 10, 20*clock.Second, "interval of the leader's heartbeats; at most a third of election-ms", func(c *Control) *clock.Millis { return &c.Consensus.HeartbeatMillis }),
 			intKey("consensus", "snapshot-every", "entries", "10000", 10, 10_000_000, "log entries from one snapshot to the next", func(c *Control) *int { return &c.Consensus.SnapshotEvery }),
 			intKey("consensus", "segment-bytes", "bytes", "8388608", 4*kib, 1<<30, "size at which a log segment is closed", func(c *Control) *int64 { return &c.Consensus.SegmentBytes }),
 		},
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -102,7 +102,7 @@
 
 // Sizes of the consensus duty.
 const (
-	consensusTick clock.Millis = 20
+	consensusTick clock.Millis = 50
 	consensusRing              = 4096
 	maxWaiting                 = 4096
 	diskRetry     clock.Millis = 500
