Remove what stood twice or unused: a second share rule, unused metric structs

Cause: limits.Share repeated admit.Share and nothing called it; the metric structs of package admin were never wired. Change: the property test of admit.Share, which covers the same rule (sum, evenness, order, absent holder), stays; histograms of waits and run times are registered in the entry process.

--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -37,32 +37,6 @@
 	}
 }
 
-// Guards against a split that admits more than the limit or depends on the
-// order in which the holders are listed.
-func TestShareSumsToTotal(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		total := rapid.IntRange(-3, 500).Draw(t, "total")
-		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,3}`), 1, 9, rapid.ID).Draw(t, "names")
-		var holders []model.Process
-		for _, n := range names {
-			holders = append(holders, model.Process(n))
-		}
-		sum := 0
-		for _, h := range holders {
-			part := Share(total, append(holders, h), h)
-			sum += part
-			if part < 0 || part > max(total, 0)/len(holders)+1 {
-				t.Fatalf("part %d of %d over %d", part, total, len(holders))
-			}
-		}
-		if sum != max(total, 0) {
-			t.Fatalf("parts sum up to %d, not %d", sum, total)
-		}
-	})
-	assert.Equal(t, Share(5, []model.Process{"b", "a"}, "a"), 3)
-	assert.Equal(t, Share(5, []model.Process{"b", "a"}, "c"), 0)
-}
-
 // Guards against a derived limit whose figures do not lead to its value.
 func TestDeriveKeepsDerivation(t *testing.T) {
 	s := Derive(LowestSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -24,13 +24,18 @@
 // characters, two metrics of one name, unescaped labels.
 func TestExpose(t *testing.T) {
 	r := metrics.NewRegistry()
-	e, err := admin.NewEntry(r)
+	requests, version := metrics.NewCounter(), metrics.NewGauge()
+	requests.Inc(5)
+	version.Update(118)
+	assert.NilError(t, r.Register("requests", requests))
+	assert.NilError(t, r.Register("table-version", version))
+	wait, err := admin.Histogram(r, "request-wait-ms")
 	assert.NilError(t, err)
-	e.Requests.Inc(5)
-	e.TableVersion.Update(118)
 	for i := range 100 {
-		e.Wait.Update(int64(i + 1))
+		wait.Update(int64(i + 1))
 	}
+	_, err = admin.Histogram(r, "request-elapsed-ms")
+	assert.NilError(t, err)
 	assert.NilError(t, admin.Count(r, "requests.", func() int64 { return 7 }))
 	assert.NilError(t, admin.Value(r, "request-wait-ms-count", func() int64 { return 8 }))
 	assert.NilError(t, admin.Value(r, "table.version", func() int64 { return 9 }))
@@ -43,13 +48,6 @@
 	var b bytes.Buffer
 	assert.NilError(t, admin.Expose(&b, r, []admin.Label{{Name: "process", Value: `e"1\`}, {Name: "zone", Value: "a\nb"}}))
 	golden.Assert(t, b.String(), "entry.txt")
-
-	control := metrics.NewRegistry()
-	_, err = admin.NewControl(control)
-	assert.NilError(t, err)
-	b.Reset()
-	assert.NilError(t, admin.Expose(&b, control, nil))
-	golden.Assert(t, b.String(), "control.txt")
 }
 
 // TestHistogramTotal guards against a sum that follows the sample only and
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -23,6 +23,12 @@
 	Value string
 }
 
+// named is a metric with its name in the registry.
+type named struct {
+	name   string
+	metric any
+}
+
 // Expose writes the metrics in the text format 0.0.4 that scrapers read,
 // sorted by name.
 func Expose(w io.Writer, r metrics.Registry, labels []Label) error {
--- a/io/trans/admin/stats.go
+++ b/io/trans/admin/stats.go
@@ -14,113 +14,27 @@
 	reservoirAlpha = 0.015
 )
 
-// Entry holds the metrics of an entry process. Durations are in milliseconds.
-type Entry struct {
-	Requests      metrics.Counter
-	Ran           metrics.Counter
-	NotRun        metrics.Counter
-	Unknown       metrics.Counter
-	Duplicates    metrics.Counter
-	Retries       metrics.Counter
-	Cancelled     metrics.Counter
-	Announcements metrics.Counter
-	InFlight      metrics.Gauge
-	TableVersion  metrics.Gauge
-	// Wait is the time from the whole header to the choice of an upstream.
-	Wait metrics.Histogram
-	// Elapsed is the time from the choice of an upstream to the last byte.
-	Elapsed metrics.Histogram
-}
-
-// NewEntry registers the metrics of an entry process.
-func NewEntry(r metrics.Registry) (*Entry, error) {
-	e := &Entry{
-		Requests: metrics.NewCounter(), Ran: metrics.NewCounter(), NotRun: metrics.NewCounter(),
-		Unknown: metrics.NewCounter(), Duplicates: metrics.NewCounter(), Retries: metrics.NewCounter(),
-		Cancelled: metrics.NewCounter(), Announcements: metrics.NewCounter(),
-		InFlight: metrics.NewGauge(), TableVersion: metrics.NewGauge(),
-		Wait: NewHistogram(), Elapsed: NewHistogram(),
-	}
-	return e, register(r, []named{
-		{"requests", e.Requests},
-		{"requests-ran", e.Ran},
-		{"requests-not-run", e.NotRun},
-		{"requests-unknown", e.Unknown},
-		{"requests-duplicate", e.Duplicates},
-		{"requests-retried", e.Retries},
-		{"requests-cancelled", e.Cancelled},
-		{"announcements", e.Announcements},
-		{"requests-in-flight", e.InFlight},
-		{"table-version", e.TableVersion},
-		{"request-wait-ms", e.Wait},
-		{"request-elapsed-ms", e.Elapsed},
-	})
-}
-
-// Control holds the metrics of a control process. Durations are in
-// milliseconds.
-type Control struct {
-	Proposals    metrics.Counter
-	Conflicts    metrics.Counter
-	Elections    metrics.Counter
-	Snapshots    metrics.Counter
-	Moves        metrics.Counter
-	Term         metrics.Gauge
-	Commit       metrics.Gauge
-	TableVersion metrics.Gauge
-	// Leader is 1 in the leader and 0 elsewhere.
-	Leader metrics.Gauge
-	// Committed is the time from a proposal to its result.
-	Committed metrics.Histogram
-	// Synced is the time of one fsync.
-	Synced metrics.Histogram
-}
-
-// NewControl registers the metrics of a control process.
-func NewControl(r metrics.Registry) (*Control, error) {
-	c := &Control{
-		Proposals: metrics.NewCounter(), Conflicts: metrics.NewCounter(), Elections: metrics.NewCounter(),
-		Snapshots: metrics.NewCounter(), Moves: metrics.NewCounter(),
-		Term: metrics.NewGauge(), Commit: metrics.NewGauge(), TableVersion: metrics.NewGauge(), Leader: metrics.NewGauge(),
-		Committed: NewHistogram(), Synced: NewHistogram(),
-	}
-	return c, register(r, []named{
-		{"proposals", c.Proposals},
-		{"conflicts", c.Conflicts},
-		{"elections", c.Elections},
-		{"snapshots", c.Snapshots},
-		{"moves", c.Moves},
-		{"term", c.Term},
-		{"commit-index", c.Commit},
-		{"table-version", c.TableVersion},
-		{"leader", c.Leader},
-		{"proposal-committed-ms", c.Committed},
-		{"log-synced-ms", c.Synced},
-	})
-}
-
 // Count registers a counter that a duty keeps by itself; f must be usable
 // from any goroutine.
 func Count(r metrics.Registry, name string, f func() int64) error {
-	return register(r, []named{{name, countFunc(f)}})
+	return register(r, name, countFunc(f))
 }
 
 // Value registers a gauge that a duty keeps by itself; f must be usable from
 // any goroutine.
 func Value(r metrics.Registry, name string, f func() int64) error {
-	return register(r, []named{{name, metrics.NewFunctionalGauge(f)}})
+	return register(r, name, metrics.NewFunctionalGauge(f))
 }
 
-type named struct {
-	name   string
-	metric any
+// Histogram registers a new histogram.
+func Histogram(r metrics.Registry, name string) (metrics.Histogram, error) {
+	h := NewHistogram()
+	return h, register(r, name, h)
 }
 
-func register(r metrics.Registry, list []named) error {
-	for _, n := range list {
-		if err := r.Register(n.name, n.metric); err != nil {
-			return &Error{Op: "register metric", Kind: KindRegister, Err: fmt.Errorf("%s: %w", n.name, err)}
-		}
+func register(r metrics.Registry, name string, metric any) error {
+	if err := r.Register(name, metric); err != nil {
+		return &Error{Op: "register metric", Kind: KindRegister, Err: fmt.Errorf("%s: %w", name, err)}
 	}
 	return nil
 }
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -53,7 +53,8 @@
 	roster   *roster.Roster[*peers.Client]
 	claimer  *claim.Claimer[*peers.Leader]
 	link     *uplink.Link
-	front    *front.Front[*dispatcher, *claim.Claimer[*peers.Leader]]
+	timed    *timed
+	front    *front.Front[*timed, *claim.Claimer[*peers.Leader]]
 	events   *ring.Ring[model.Event]
 	leaving  atomic.Bool
 }
@@ -94,7 +95,8 @@
 	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
-	e.front = front.New(frontSettings(cfg), clk, e.dispatch, e.claimer, e.link)
+	e.timed = newTimed(e.dispatch, clk)
+	e.front = front.New(frontSettings(cfg), clk, e.timed, e.claimer, e.link)
 	return e
 }
 
@@ -285,6 +287,8 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	counters(r, usage(e.client.Traffic))
+	_ = r.Register("request-wait-ms", e.timed.wait)
+	_ = r.Register("request-elapsed-ms", e.timed.elapsed)
 	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
 	return r
 }
