Count the wait for control members in time, not in rounds

Cause: a restarted entry process goes by its neighbours after 20 rounds without a control member. The constant assumed 250 ms a round; when the zone is cut off silently, each round waits 1 s for each silent member, so the process served nothing for about 45 s in place of 5 s.

Change: the wait is 5 s from the start of the first round without an answer; at least one round over all members is made.

TestSilentControlTakesNoLonger fails when the wait is longer than 10 s.

--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -19,9 +19,10 @@
 	retryWait clock.Millis = 250
 	// neighbourTimeout bounds one question to a neighbour.
 	neighbourTimeout clock.Millis = 500
-	// aloneRounds is the number of rounds without a control member, about 5 s,
-	// after which a process goes by its neighbours, or by the table it has.
-	aloneRounds int = 20
+	// aloneWait is the time without a control member after which a process goes
+	// by its neighbours, or by the table it has. It is a time and not a number
+	// of rounds, because a round over silent members takes seconds.
+	aloneWait = 5 * clock.Second
 )
 
 // Offer hands a delta to the duty that owns the table. An error means that it
@@ -54,8 +55,9 @@
 	// answered says that the last question to a control member was answered;
 	// the next one may then be held back.
 	answered bool
-	// alone counts the rounds without an answer of a control member.
-	alone int
+	// alone is the start of the first round without an answer of a control
+	// member; 0 after an answer.
+	alone clock.Millis
 }
 
 // NewPoller returns a poller for the process self.
@@ -92,12 +94,9 @@
 		cancel()
 	}()
 	for !p.stopped() {
-		if p.pollControl(ctx) {
-			p.alone = 0
+		if p.round(ctx) {
 			continue
 		}
-		p.alone++
-		p.goAlone(ctx)
 		select {
 		case <-p.clock.After(retryWait):
 		case <-p.done:
@@ -106,6 +105,21 @@
 	return nil
 }
 
+// round asks the control members and, when none answers, the neighbours. It
+// reports whether a control member answered.
+func (p *Poller[S]) round(ctx context.Context) bool {
+	began := p.clock.Now()
+	if p.pollControl(ctx) {
+		p.alone = 0
+		return true
+	}
+	if p.alone == 0 {
+		p.alone = began
+	}
+	p.goAlone(ctx)
+	return false
+}
+
 // Stop ends Run.
 func (p *Poller[S]) Stop() { close(p.done) }
 
@@ -163,7 +177,7 @@
 // one that hears nobody goes on with the table it has: a partitioned zone must
 // serve what it can.
 func (p *Poller[S]) goAlone(ctx context.Context) {
-	enough := p.alone >= aloneRounds
+	enough := p.clock.Now()-p.alone >= aloneWait
 	if p.Version() == 0 && !enough {
 		return
 	}
--- /dev/null
+++ b/core/coord/follow/poller_test.go
@@ -0,0 +1,47 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// silentControl is a source whose control members never answer; a call to one
+// of them takes its whole time. The neighbour has a table.
+type silentControl struct {
+	clock *clock.Fake
+	table model.Version
+}
+
+func (s silentControl) Watch(_ context.Context, _ model.Member, _ model.Version, wait clock.Millis) (model.Delta, error) {
+	s.clock.Advance(wait + watchSlack)
+	return model.Delta{}, errors.New("silent")
+}
+
+func (s silentControl) Table(_ context.Context, _ model.Member, from model.Version) (model.Delta, bool, error) {
+	return model.Delta{From: from, To: s.table, Full: true}, true, nil
+}
+
+// TestSilentControlTakesNoLonger guards against a restarted process in a zone
+// that is cut off silently, which waits for the neighbour's table many times
+// longer than one whose control members refuse at once.
+func TestSilentControlTakesNoLonger(t *testing.T) {
+	clk := clock.NewFake(1_000_000)
+	self := model.Member{Name: "e1", Zone: "za"}
+	controls := []model.Member{{Name: "c1", Zone: "za"}, {Name: "c2", Zone: "zb"}, {Name: "c3", Zone: "zc"}}
+	entries := []model.Member{self, {Name: "e2", Zone: "za"}}
+	p := NewPoller(self, controls, entries, silentControl{clock: clk, table: 7}, func(model.Delta) error { return nil }, clk.Clock())
+	began := clk.Now()
+	for p.Version() == 0 {
+		assert.Assert(t, clk.Now()-began <= 10*clock.Second, "no table after %d ms", clk.Now()-began)
+		assert.Assert(t, !p.round(context.Background()))
+		clk.Advance(retryWait)
+	}
+	assert.Assert(t, clk.Now()-began >= aloneWait, "the neighbour was believed after %d ms", clk.Now()-began)
+	assert.Equal(t, p.Version(), model.Version(7))
+}
