Sharpen the tests of thawed entries and of a restart in a cut zone

A thawed entry process was not asked at the moment of its thaw, and the restart in a cut zone found the table at the zone's control member, which still took the leader for reachable.

Change: TestThawedEntryRunsNothingByOldTable sends requests that wait at the frozen process; TestRestartInCutZone waits until the control member hears no leader. The budget check of the maintenance test reports what it saw also when the test ends early.

--- a/tests/config_test.go
+++ b/tests/config_test.go
@@ -103,6 +103,36 @@
 	}
 }
 
+// TestThawedEntryRunsNothingByOldTable guards against requests that arrived at
+// a frozen entry process and run, when it wakes up, by the table that it had
+// before: the contract was removed meanwhile.
+func TestThawedEntryRunsNothingByOldTable(t *testing.T) {
+	s := serving(t, threeZones("merge"))
+	e3 := s.find("e3")
+	s.signal("e3", syscall.SIGSTOP)
+	s.must("contract", "remove", "acme", "--author", "test")
+	s.wait("e1 to drop the contract", func() bool {
+		status, _, _, err := call(t, s.find("e1").callers, "merge", nil)
+		return err == nil && status == http.StatusNotFound
+	})
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, _, _, _ = call(t, e3.callers, "merge", http.Header{stand.IDHeader: {fmt.Sprintf("late-%d", i)}})
+		}()
+	}
+	time.Sleep(2 * time.Second)
+	s.signal("e3", syscall.SIGCONT)
+	wg.Wait()
+	s.wait("e3 to drop the contract", func() bool {
+		status, _, _, err := call(t, e3.callers, "merge", nil)
+		return err == nil && status == http.StatusNotFound
+	})
+	assert.Equal(t, s.runsWith("late-"), 0)
+}
+
 // TestCutZoneServesAndHeals guards against a partitioned zone that stops
 // serving, that runs a request with a key which it cannot claim, or that stays
 // on its old table after the partition.
@@ -163,7 +193,7 @@
 	s := serving(t, threeZones("merge"))
 	e6, e7 := s.find("e6"), s.find("e7")
 	s.cut("zc", relaySilent)
-	// The control member of the zone hears no leader any more.
+	s.wait("the control member of the zone to hear no leader", func() bool { return !s.isReady(s.find("c3").admin) })
 	s.kill("e7")
 	floor := s.version(e6)
 	assert.Assert(t, floor > 0)
--- a/tests/maintenance_test.go
+++ b/tests/maintenance_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +29,11 @@
 		}
 		var out []string
 		lost := false
-		for _, i := range s.instances() {
+		all, err := s.listInstances()
+		if err != nil {
+			continue
+		}
+		for _, i := range all {
 			if i.Phase == "releasing" || i.Phase == "maintenance" {
 				out = append(out, i.Instance)
 			}
@@ -65,6 +70,13 @@
 	}()
 	stop, faults := make(chan struct{}), make(chan string, 10_000)
 	go s.watchOut(stop, faults)
+	finish := sync.OnceFunc(func() {
+		close(stop)
+		for fault := range faults {
+			t.Error(fault)
+		}
+	})
+	defer finish()
 	s.must("maintenance", "declare", "all", "--pool", "merge", "--deadline", "1h", "--author", "test")
 	maintained := func(n int) {
 		t.Helper()
@@ -91,10 +103,7 @@
 	s.wait("the loss to be noticed", func() bool { return strings.HasPrefix(s.instance("zb-i00").Reason, "lost:") })
 	assert.NilError(t, f.Start(o))
 	maintained(6)
-	close(stop)
-	for fault := range faults {
-		t.Error(fault)
-	}
+	finish()
 	cancel()
 	s.checkSteady(<-sums, "zb-i00", 3)
 	for _, i := range s.instances() {
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -70,16 +70,27 @@
 	return nil
 }
 
-func (s *system) instances() []instanceView {
-	s.t.Helper()
+func (s *system) listInstances() ([]instanceView, error) {
+	out, err := s.cli("instances", "--json")
+	if err != nil {
+		return nil, err
+	}
 	var v struct {
 		Instances []instanceView `json:"instances"`
 	}
-	s.wait("the instances", func() bool {
-		out, err := s.cli("instances", "--json")
-		return err == nil && json.Unmarshal([]byte(out), &v) == nil
+	err = json.Unmarshal([]byte(out), &v)
+	return v.Instances, err
+}
+
+func (s *system) instances() []instanceView {
+	s.t.Helper()
+	var all []instanceView
+	s.wait("the instances", func() (ok bool) {
+		var err error
+		all, err = s.listInstances()
+		return err == nil
 	})
-	return v.Instances
+	return all
 }
 
 func (s *system) instance(id string) instanceView {
