--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -11,8 +11,9 @@
 	// feltInterval separates two updates of the board.
 	feltInterval = 5 * clock.Second
 	// feltDecay is what remains of the counts after each update, so that they
-	// cover about the last 20 s.
-	feltDecay = 0.75
+	// cover about the last three minutes: peaks are shorter than a maintenance,
+	// and their pressure alone made no difference to the waves.
+	feltDecay = 0.97
 	// feltLeast is the number of requests below which nothing is concluded.
 	feltLeast = 20
 )
@@ -64,7 +65,7 @@
 // seeFelt tells the board what callers feel and how the instances fare, so
 // that waves slow down, or stop when what they touched fails more than its
 // peers.
-func (m *Mover[G, P, C, J, A]) seeFelt(now clock.Millis) {
+func (m *Mover[G, P, C, J, A, S]) seeFelt(now clock.Millis) {
 	f := &m.felt
 	if now-f.at < feltInterval {
 		return
