Show roll-out time, moves and the idle buffer as a command

Cause: the three figures that operators weigh were nowhere to be read. Change: camphorridge measures takes them from the time line and the present objects; finished moves and maintenances are events of their own.

--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -247,6 +247,18 @@
 	m.events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
 }
 
+// kindOf is the event of a step: a finished move, a finished maintenance or
+// any other step.
+func kindOf(held, next model.Instance) model.EventKind {
+	switch {
+	case held.ID != "" && held.Pool != next.Pool:
+		return model.EventMoved
+	case held.ID != "" && next.Maintained > held.Maintained:
+		return model.EventMaintained
+	}
+	return model.EventInstance
+}
+
 // propose reports false when the steps were not applied.
 func (m *Mover[G, P, C, J, A, S]) propose(steps []model.InstanceStep) bool {
 	if len(steps) == 0 {
@@ -260,7 +272,7 @@
 	}
 	for _, s := range steps {
 		m.events(model.Event{
-			Kind: model.EventInstance, Instance: s.Instance.ID, Pool: s.Instance.Pool, Version: r.Version,
+			Kind: kindOf(m.table.Instances[s.Instance.ID], s.Instance), Instance: s.Instance.ID, Pool: s.Instance.Pool, Version: r.Version,
 			Detail: s.Instance.Phase.String() + ": " + s.Instance.Reason,
 		})
 	}
--- /dev/null
+++ b/core/state/trail/measure.go
@@ -0,0 +1,155 @@
+package trail
+
+import (
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Measures are the three figures that operators weigh, taken from the time
+// line and the present objects.
+type Measures struct {
+	// Changes lists the contract changes in the order of their versions.
+	Changes []Rollout
+	// Median and Worst are over the changes that are in force everywhere.
+	Median clock.Millis
+	Worst  clock.Millis
+	// Moves is the number of instances that changed pool.
+	Moves int
+	// Maintained is the number of finished maintenances.
+	Maintained int
+	Waves      []Wave
+	// Idle is the number of serving instances beyond what is promised: the
+	// buffer.
+	Idle int
+}
+
+// Rollout is how long an accepted change took to be in force.
+type Rollout struct {
+	Version model.Version
+	// Elapsed is the time until the last entry process had it; 0 while one
+	// lacks it.
+	Elapsed clock.Millis
+	// Missing lists the entry processes that have not reported it.
+	Missing []model.Process
+}
+
+// Wave is how far a declared maintenance is.
+type Wave struct {
+	Name string
+	// Done and All count the selected instances.
+	Done int
+	All  int
+	// Elapsed is the time from the declaration to the last return, or to now
+	// while instances are left.
+	Elapsed clock.Millis
+}
+
+// Measure computes the figures. Events must be in causal order, as Merge
+// returns them; changes whose events were dropped are left out.
+func Measure(o Objects, events []model.Event) Measures {
+	var m Measures
+	for i, e := range events {
+		switch e.Kind {
+		case model.EventChange:
+			if e.Customer != "" {
+				m.Changes = append(m.Changes, rollout(o, e, events[i:]))
+			}
+		case model.EventMoved:
+			m.Moves++
+		case model.EventMaintained:
+			m.Maintained++
+		}
+	}
+	m.Median, m.Worst = spread(m.Changes)
+	for _, name := range sortedNames(o.Maintenance) {
+		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
+	}
+	m.Idle = idle(o)
+	return m
+}
+
+func rollout(o Objects, change model.Event, after []model.Event) Rollout {
+	r := Rollout{Version: change.Version}
+	missing := map[model.Process]bool{}
+	for _, p := range o.Processes {
+		missing[p.Name] = true
+	}
+	for _, e := range after {
+		if e.Kind == model.EventTable && e.Version >= change.Version && missing[e.Process] {
+			delete(missing, e.Process)
+			r.Elapsed = max(r.Elapsed, e.Stamp.Wall-change.Stamp.Wall)
+		}
+	}
+	if len(missing) > 0 {
+		r.Elapsed = 0
+		r.Missing = sortedNames(missing)
+	}
+	return r
+}
+
+func spread(all []Rollout) (median, worst clock.Millis) {
+	var times []clock.Millis
+	for _, r := range all {
+		if len(r.Missing) == 0 {
+			times = append(times, r.Elapsed)
+		}
+	}
+	if len(times) == 0 {
+		return 0, 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2], times[len(times)-1]
+}
+
+func wave(o Objects, m model.Maintenance) Wave {
+	w := Wave{Name: m.Name}
+	last := m.Declared
+	for _, i := range o.Instances {
+		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
+			continue
+		}
+		w.All++
+		if i.Maintained >= m.Declared {
+			w.Done++
+			last = max(last, i.Maintained)
+		}
+	}
+	if w.Done < w.All {
+		last = o.Now
+	}
+	w.Elapsed = last - m.Declared
+	return w
+}
+
+// idle counts the serving instances beyond the promise of their pools. Spare
+// instances are all idle, as nothing is promised in a spare pool.
+func idle(o Objects) int {
+	promised := map[model.Pool]int{}
+	for _, c := range o.Contracts {
+		for _, p := range c.Pools {
+			promised[p.Pool] += p.Instances
+		}
+	}
+	have := map[model.Pool]int{}
+	for _, i := range o.Instances {
+		if !i.OutOfService() && i.Phase == model.PhaseServing {
+			have[i.Pool]++
+		}
+	}
+	n := 0
+	for p, h := range have {
+		n += max(0, h-promised[p])
+	}
+	return n
+}
+
+func sortedNames[K ~string, V any](m map[K]V) []K {
+	names := make([]K, 0, len(m))
+	for k := range m {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/state/trail/measure_test.go
@@ -0,0 +1,37 @@
+package trail
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// TestMeasure guards against a roll-out that counts as done while an entry
+// process lacks the change, and against a wave or buffer that is miscounted.
+func TestMeasure(t *testing.T) {
+	at := func(ms clock.Millis, p model.Process, k model.EventKind, v model.Version) model.Event {
+		return model.Event{Stamp: model.Stamp{Wall: ms}, Process: p, Kind: k, Version: v, Customer: "acme"}
+	}
+	o := Objects{
+		Now:       9000,
+		Processes: []Process{{Name: "e1"}, {Name: "e2"}},
+		Contracts: map[model.Customer]model.Contract{"acme": {Pools: []model.PoolShare{{Pool: "merge", Instances: 1}}}},
+		Instances: map[model.InstanceID]model.Instance{
+			"a": {ID: "a", Pool: "merge", Maintained: 4000}, "b": {ID: "b", Pool: "merge"}, "c": {ID: "c", Pool: "portal", Lost: 1},
+		},
+		Maintenance: map[string]model.Maintenance{"w": {Name: "w", Declared: 3000, Selector: model.Selector{Pool: "merge"}}},
+	}
+	m := Measure(o, []model.Event{
+		at(100, "c1", model.EventChange, 5), at(130, "e1", model.EventTable, 5), at(150, "e2", model.EventTable, 6),
+		at(200, "c1", model.EventMoved, 7), at(300, "c1", model.EventChange, 8), at(310, "e1", model.EventTable, 8),
+		at(400, "c1", model.EventMaintained, 9),
+	})
+	assert.DeepEqual(t, m, Measures{
+		Changes: []Rollout{{Version: 5, Elapsed: 50}, {Version: 8, Missing: []model.Process{"e2"}}},
+		Median:  50, Worst: 50, Moves: 1, Maintained: 1, Idle: 1,
+		Waves: []Wave{{Name: "w", Done: 1, All: 2, Elapsed: 6000}},
+	})
+}
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -179,13 +179,14 @@
 
 func attachReports(add adder, o *options) {
 	status := add(nil, "status", "show which process runs which version, and what waits", showStatus)
+	measures := add(nil, "measures", "show roll-out times, moves and the idle buffer", showMeasures)
 	instances := add(nil, "instances", "list the instances", listInstances)
 	explain := add(nil, "explain", "say what happened to a customer, an instance or a request, and why", explain)
 	explain.AddPositionalValue(&o.kind, "kind", 1, true, "customer, instance or request")
 	explain.AddPositionalValue(&o.name, "name", 2, true, "its name")
 	timeline := add(nil, "timeline", "show the events of all processes in causal order", showTimeline)
 	timeline.String(&o.html, "", "html", "write the time line as a page to this file")
-	operatorFlags(o, status, instances, explain, timeline)
+	operatorFlags(o, status, measures, instances, explain, timeline)
 }
 
 func operatorFlags(o *options, all ...*flaggy.Subcommand) {
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -148,6 +148,12 @@
 	})
 }
 
+func showMeasures(o *options, out io.Writer) error {
+	return view(o, func(p *operator, v peers.Overview) error {
+		return report.Measures(out, o.format(), trail.Measure(objectsOf(v), p.events(v)))
+	})
+}
+
 func explain(o *options, out io.Writer) error {
 	return view(o, func(p *operator, v peers.Overview) error {
 		objects, events := objectsOf(v), p.events(v)
