--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -1,6 +1,7 @@
 package mover
 
 import (
+	"maps"
 	"slices"
 
 	"camphorridge/core/state/clock"
@@ -80,6 +81,7 @@
 type Changed struct {
 	Delta       model.Delta
 	Maintenance map[string]model.Maintenance
+	Gone        map[model.Process]clock.Millis
 	// Outages lists the outages that finished since the last pass, in the order
 	// of their ends.
 	Outages []model.Outage
@@ -91,6 +93,7 @@
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
+	c.Gone = maps.Clone(s.Gone)
 	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != after; i-- {
 		c.Outages = append(c.Outages, s.Outages[i])
 	}
--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -41,7 +41,7 @@
 	return first(steps)
 }
 
-// FinishMove returns the step that ends a move, or the wait when an entry
+// FinishMove returns the step that ends a move or a retirement, or the wait when an entry
 // process of the instance's zone has not confirmed the release.
 func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
 	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
@@ -51,6 +51,10 @@
 		}
 	}
 	next := i
+	if i.Target == model.PoolNone {
+		next.Phase, next.Lost = model.PhaseRetired, 0
+		return model.InstanceStep{Base: i.Version, Instance: next}, nil
+	}
 	next.Phase = model.PhaseServing
 	next.Pool = i.Target
 	next.Reason = fmt.Sprintf("moved from pool %s", i.Pool)
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -251,3 +251,31 @@
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the zone is silent as a whole")
 }
+
+// TestRetireAndGone guards against an instance that stays in the fleet for
+// ever because an entry process that no longer exists can't confirm, and
+// against one that is retired while a process that exists has not confirmed.
+func TestRetireAndGone(t *testing.T) {
+	w := newWorld(t)
+	w.drained["e2"] = w.group.state.Version
+	i := w.instance("i0")
+	i.Phase, i.Target = model.PhaseReleasing, model.PoolNone
+	propose := func(c model.Change) {
+		r, _ := w.group.Propose(context.Background(), c)
+		assert.Equal(t, r.Kind, model.ResultApplied, r.Reason)
+	}
+	propose(model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{{Base: i.Version, Instance: i}}})
+	w.run(10 * clock.Second)
+	assert.Equal(t, w.instance("i0").Phase, model.PhaseReleasing)
+	propose(model.Change{Kind: model.ChangeProcessGone, Process: "e2"})
+	w.run(3 * clock.Second)
+	assert.Equal(t, w.instance("i0").Phase, model.PhaseRetired)
+	w.run(10 * clock.Second)
+	serving := 0
+	for _, x := range w.group.state.Instances {
+		if x.Pool == "merge" && x.Phase == model.PhaseServing {
+			serving++
+		}
+	}
+	assert.Equal(t, serving, 6, "the pool is filled from the spare")
+}
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -45,11 +45,25 @@
 		return s.applyClaims(index, c)
 	case model.ChangeOutcomes:
 		return s.applyOutcomes(index, c)
+	case model.ChangeProcessGone:
+		return s.declareGone(index, c)
 	default:
 		return invalid(fmt.Sprintf("unknown kind of change %d", c.Kind))
 	}
 }
 
+// declareGone remembers that the runs of an entry process so far have ended.
+func (s *State) declareGone(index model.Version, c model.Change) model.Result {
+	if c.Process == "" {
+		return invalid("the change names no process")
+	}
+	if _, known := s.Gone[c.Process]; !known && len(s.Gone) >= MaxGone {
+		return invalid(fmt.Sprintf("%d processes are remembered as gone already", MaxGone))
+	}
+	s.Gone[c.Process] = s.Time
+	return model.Result{Version: index}
+}
+
 func invalid(reason string) model.Result {
 	return model.Result{Kind: model.ResultInvalid, Reason: reason}
 }
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -18,6 +18,8 @@
 	// MaxOutages bounds the remembered outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
+	// MaxGone bounds the entry processes that are remembered as gone.
+	MaxGone = 1000
 	// MaxTouches is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
 	MaxTouches = 10_000
@@ -48,6 +50,9 @@
 	Results *Memory[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
 	Claims *Memory[model.ClaimKey, HeldClaim]
+	// Gone holds the entry processes that were declared gone, with the time of
+	// the declaration: runs that started before it have ended. At most MaxGone.
+	Gone map[model.Process]clock.Millis
 	// Outages lists the finished outages in the order of their ends; at most
 	// MaxOutages. Budgets are computed from them, also by a new leader.
 	Outages []model.Outage
@@ -88,6 +93,7 @@
 		Results:     NewMemory[model.RequestID, model.Result](MaxResults, ResultLifetime),
 		Claims:      NewMemory[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
 		Authors:     map[string]Author{},
+		Gone:        map[model.Process]clock.Millis{},
 	}
 }
 
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -15,6 +15,9 @@
 	ChangeInstances
 	ChangeClaims
 	ChangeOutcomes
+	// ChangeProcessGone says that every run of an entry process that started
+	// before the change has ended for good.
+	ChangeProcessGone
 )
 
 // Change is one entry of the replicated log. The field that belongs to Kind
@@ -41,6 +44,7 @@
 	Instances   []InstanceStep
 	Claims      []Claim
 	Outcomes    []ClaimOutcome
+	Process     Process
 }
 
 // InstanceStep moves one instance from one phase to the next. Base must be
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -125,6 +125,10 @@
 	return phaseNames[p]
 }
 
+// PoolNone is the target of an instance that is to be retired. It is no valid
+// name, so that no pool can have it.
+const PoolNone Pool = "-"
+
 // Instance is a machine of the fleet as the control group knows it.
 type Instance struct {
 	ID   InstanceID
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -30,6 +30,8 @@
 		w.Claims = list(c.Claims, ClaimToWire)
 	case model.ChangeOutcomes:
 		w.Outcomes = list(c.Outcomes, ClaimOutcomeToWire)
+	case model.ChangeProcessGone:
+		w.Process = text(c.Process)
 	}
 	return w
 }
@@ -37,7 +39,7 @@
 // ChangeFromWire maps a change. The names in the fields that belong to its
 // kind are required; the other fields are ignored.
 func ChangeFromWire(w *wirepb.Change) (model.Change, error) {
-	kind, err := enum("change", "kind", w.GetKind(), model.ChangeOutcomes)
+	kind, err := enum("change", "kind", w.GetKind(), model.ChangeProcessGone)
 	if err != nil {
 		return model.Change{}, err
 	}
@@ -63,6 +65,9 @@
 		c.Claims, err = listFrom(w.GetClaims(), ClaimFromWire)
 	case model.ChangeOutcomes:
 		c.Outcomes, err = listFrom(w.GetOutcomes(), ClaimOutcomeFromWire)
+	case model.ChangeProcessGone:
+		c.Process = model.Process(w.GetProcess())
+		err = required("change", "process", w.GetProcess())
 	}
 	if err != nil {
 		return model.Change{}, err
--- a/io/proto/codec/change_test.go
+++ b/io/proto/codec/change_test.go
@@ -61,7 +61,7 @@
 func anyChange(t *rapid.T) model.Change {
 	all := rapid.Make[model.Change]().Draw(t, "change")
 	c := model.Change{Kind: all.Kind, Time: all.Time, Request: all.Request, Author: all.Author, Base: all.Base}
-	within(&c.Kind, model.ChangeOutcomes)
+	within(&c.Kind, model.ChangeProcessGone)
 	switch c.Kind {
 	case model.ChangeContractApply:
 		c.Contract = anyContract(t)
@@ -87,6 +87,9 @@
 			within(&o.State, model.ClaimUnknown)
 			return o
 		})
+	case model.ChangeProcessGone:
+		c.Process = all.Process
+		name(&c.Process)
 	}
 	return c
 }
@@ -154,7 +157,7 @@
 		change model.Change
 		kind   Kind
 	}{
-		{"kind above the last", model.Change{Kind: model.ChangeOutcomes + 1}, KindRange},
+		{"kind above the last", model.Change{Kind: model.ChangeProcessGone + 1}, KindRange},
 		{"kind below 0", model.Change{Kind: -1}, KindRange},
 		{"phase above the last", step(badPhase), KindRange},
 		{"step without a pool", step(noPool), KindMissing},
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -26,6 +26,9 @@
 		Touches:     list(s.Touches, touchToWire),
 		Outages:     list(s.Outages, OutageToWire),
 	}
+	for _, p := range slices.Sorted(maps.Keys(s.Gone)) {
+		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.Gone[p])})
+	}
 	s.Results.Each(func(k model.RequestID, r model.Result, t clock.Millis) {
 		w.Results = append(w.Results, &wirepb.RememberedResult{Request: text(k), Result: ResultToWire(r), TimeMs: int64(t)})
 	})
@@ -101,6 +104,12 @@
 		return nil, err
 	}
 	s.Outages = outages
+	for _, g := range w.GetGone() {
+		if g.GetProcess() == "" {
+			return nil, stateError(KindMissing, "a process that is gone has no name")
+		}
+		s.Gone[model.Process(g.GetProcess())] = clock.Millis(g.GetTimeMs())
+	}
 	for _, a := range w.GetAuthors() {
 		if a.GetName() == "" {
 			return nil, stateError(KindMissing, "an author's object has no name")
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -153,3 +153,34 @@
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceCancel, Base: base, Maintenance: m})
 	})
 }
+
+// retireInstance releases an instance for good. Its pool is filled from the
+// spare; the step ends when every entry process of the zone confirmed it.
+func retireInstance(o *options, out io.Writer) error {
+	return view(o, func(p *operator, v peers.Overview) error {
+		for _, i := range v.Status.Instances {
+			if i.ID != model.InstanceID(o.name) {
+				continue
+			}
+			next := i
+			next.Phase, next.Target, next.Reason = model.PhaseReleasing, model.PoolNone, "retired by "+o.author
+			step := model.InstanceStep{Base: o.baseOf(i.Version), Instance: next}
+			return propose(o, p, out, model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{step}})
+		}
+		return failed("retire", fmt.Errorf("no instance %s", o.name))
+	})
+}
+
+// declareGone tells the group that no run of an entry process so far is left.
+// Only the operator can know that a silent process does not serve a cut-off
+// zone.
+func declareGone(o *options, out io.Writer) error {
+	return view(o, func(p *operator, v peers.Overview) error {
+		for _, m := range v.Entries {
+			if m.Name == model.Process(o.name) {
+				return propose(o, p, out, model.Change{Kind: model.ChangeProcessGone, Process: m.Name})
+			}
+		}
+		return failed("gone", fmt.Errorf("no entry process %s in the settings", o.name))
+	})
+}
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -125,6 +125,7 @@
 	attachRoles(add, o)
 	attachContract(add, o)
 	attachMaintenance(add, o)
+	attachFleet(add, o)
 	attachReports(add, o)
 	return all
 }
@@ -177,6 +178,15 @@
 	changeFlags(o, declare, cancel)
 }
 
+func attachFleet(add adder, o *options) {
+	retire := add(nil, "retire", "take an instance out of the fleet for good", retireInstance)
+	retire.AddPositionalValue(&o.name, "instance", 1, true, "name of the instance")
+	gone := add(nil, "gone", "declare that an entry process has ended for good, so that nothing waits for it", declareGone)
+	gone.AddPositionalValue(&o.name, "process", 1, true, "name of the entry process")
+	operatorFlags(o, retire, gone)
+	changeFlags(o, retire, gone)
+}
+
 func attachReports(add adder, o *options) {
 	status := add(nil, "status", "show which process runs which version, and what waits", showStatus)
 	measures := add(nil, "measures", "show roll-out times, moves and the idle buffer", showMeasures)
