Show how each limit follows from its contract, and use one rule for slots

Cause: the entry processes derived an open concurrency from a pool's largest instance, the judgement of contracts from its smallest, so that the figure shown would not have been the one in force.

--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
@@ -180,17 +181,15 @@
 	d.counted[id] = counted{pool: i.Pool, slots: i.Slots}
 }
 
-// slotsOf returns the slots of the largest instance of a pool. It depends on
-// the table alone, so all entry processes at one version derive the same.
+// slotsOf returns the slots of the smallest instance of a pool, by the rule of
+// limits.LowestSlots: the concurrency must fit whichever instances are in
+// service. It depends on the table alone, so all entry processes at one version
+// derive the same.
 func (d *Dispatcher[P, Q]) slotsOf(p model.Pool) int {
-	n := 0
-	for slots := range d.slots[p] {
-		n = max(n, slots)
-	}
-	if n == 0 {
+	if len(d.slots[p]) == 0 {
 		return admit.DefaultSlots
 	}
-	return n
+	return slices.Min(slices.Collect(maps.Keys(d.slots[p])))
 }
 
 func (d *Dispatcher[P, Q]) hear(now clock.Millis, h member.Heard) error {
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -55,7 +55,9 @@
 	}
 	c := s.Contracts[i]
 	return render(w, "report contract", f, func() string { return contractText(c, s.Instances) },
-		func() any { return contractObject(c) })
+		func() any {
+			return append(contractObject(c), object{{"limits", list(derive(c, s.Instances).All(), limitObject)}}...)
+		})
 }
 
 func contractText(c model.Contract, instances []model.Instance) string {
@@ -84,7 +86,7 @@
 		}
 		p.add(share.Pool, share.Instances, serving)
 	}
-	return t.String() + "\n" + p.String()
+	return t.String() + "\n" + p.String() + "\n" + limitsTable(derive(c, instances)).String()
 }
 
 // Instances writes the instances that the selector picks.
