Tell callers when the process that ran their request has died

Change: claims carry the process and its incarnation; a new run, announced at its start, turns the running claims of earlier runs to 'unknown'. They still never run again.

--- a/core/coord/claim/claim.go
+++ b/core/coord/claim/claim.go
@@ -71,6 +71,7 @@
 type Claimer[P Proposer] struct {
 	// Owner is the entry process in whose name keys are claimed.
 	Owner    model.Process
+	run      uint64
 	proposer P
 	clock    clock.Clock
 	asks     *ring.Ring[ask]
@@ -80,10 +81,12 @@
 	asksDone chan struct{}
 }
 
-// New returns a claimer; Run must be called for it to do anything.
-func New[P Proposer](owner model.Process, p P, c clock.Clock) *Claimer[P] {
+// New returns a claimer for a run of the process owner, whose incarnation is
+// larger than those of earlier runs. Run must be called for it to do anything.
+func New[P Proposer](owner model.Process, run uint64, p P, c clock.Clock) *Claimer[P] {
 	return &Claimer[P]{
 		Owner:    owner,
+		run:      run,
 		proposer: p,
 		clock:    c,
 		asks:     ring.New[ask](ringSize),
@@ -159,7 +162,7 @@
 }
 
 func (c *Claimer[P]) claimBatch(batch []ask) {
-	change := model.Change{Kind: model.ChangeClaims, Author: string(c.Owner)}
+	change := c.claims()
 	for _, a := range batch {
 		change.Claims = append(change.Claims, a.claim)
 	}
@@ -178,6 +181,20 @@
 	}
 }
 
+func (c *Claimer[P]) claims() model.Change {
+	return model.Change{Kind: model.ChangeClaims, Author: string(c.Owner), Process: c.Owner, Run: c.run}
+}
+
+// announceRun tells the group that earlier runs have ended, so that callers
+// learn at once that their requests' outcomes are unknown.
+func (c *Claimer[P]) announceRun() {
+	for {
+		if _, err := c.propose(c.claims()); err == nil || !c.pause() {
+			return
+		}
+	}
+}
+
 func (c *Claimer[P]) propose(change model.Change) (model.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), ProposeTimeout.Duration())
 	defer cancel()
@@ -186,6 +203,7 @@
 
 func (c *Claimer[P]) runOutcomes() {
 	defer close(c.asksDone)
+	c.announceRun()
 	var waiting []model.ClaimOutcome
 	for {
 		select {
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -302,3 +302,25 @@
 	assert.Equal(t, len(late.Instances), len(s.Instances))
 	assert.Assert(t, !fleet.Merge(&late, model.Delta{To: 1, Full: true}), "a table never goes down")
 }
+
+// Guards against a request of a process that died which stays "running", and
+// against one of the present run that is declared unknown.
+func TestNewRunEndsEarlierRequests(t *testing.T) {
+	s := fleet.New()
+	key := func(k string) model.ClaimKey { return model.ClaimKey{Customer: "acme", Service: "merge", Key: k} }
+	claim := func(index model.Version, k string, run uint64) model.ClaimAnswer {
+		r := s.Apply(index, model.Change{
+			Kind: model.ChangeClaims, Process: "e1", Run: run,
+			Claims: []model.Claim{{Key: key(k), Token: "t" + k}},
+		})
+		return r.Claims[0]
+	}
+	assert.Assert(t, claim(1, "a", 10).Granted)
+	s.Apply(2, model.Change{Kind: model.ChangeClaims, Process: "e1", Run: 11})
+	assert.Assert(t, claim(3, "b", 11).Granted)
+	held, _ := s.Claims.Get(key("a"))
+	assert.Equal(t, held.State, model.ClaimUnknown)
+	held, _ = s.Claims.Get(key("b"))
+	assert.Equal(t, held.State, model.ClaimRunning)
+	assert.Assert(t, !claim(4, "a", 10).Granted, "a request of an earlier run must not run again")
+}
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -1,12 +1,16 @@
 package fleet
 
-import "camphorridge/core/state/model"
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
 
 // applyClaims grants each key to the first attempt that asks for it. The same
 // attempt asking again, after a lost answer, is granted again as long as the
 // request was not finished. A claim without a token is refused: two attempts
 // without one would both be granted.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
+	s.beginRun(c.Process, c.Run)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
 		held, ok := s.Claims.Get(claim.Key)
@@ -14,7 +18,7 @@
 		case claim.Token == "" || claim.Key.Key == "":
 			r.Claims = append(r.Claims, model.ClaimAnswer{First: model.ClaimUnknown})
 		case !ok:
-			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token}, s.Time)
+			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Run: c.Run}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		case held.Token == claim.Token && held.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
@@ -25,6 +29,26 @@
 	return r
 }
 
+// beginRun notes the incarnation of an entry process. The requests of its
+// earlier runs have ended with them, so what is known of those that were
+// running becomes unknown. The claims are looked at once for each run.
+func (s *State) beginRun(p model.Process, run uint64) {
+	held, known := s.Runs[p]
+	if p == "" || run <= held || (!known && len(s.Runs) >= MaxRuns) {
+		return
+	}
+	s.Runs[p] = run
+	if !known {
+		return
+	}
+	s.Claims.Each(func(k model.ClaimKey, c HeldClaim, _ clock.Millis) {
+		if c.Owner == p && c.Run < run && c.State == model.ClaimRunning {
+			c.State = model.ClaimUnknown
+			s.Claims.Update(k, c)
+		}
+	})
+}
+
 // applyOutcomes closes claims, or releases those whose request did not run.
 // Outcomes of other attempts than the holder are ignored, and so are later
 // outcomes of the holder: a request that is known to have run must not be
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -20,6 +20,8 @@
 	MaxOutages = 100_000
 	// MaxGone bounds the entry processes that are remembered as gone.
 	MaxGone = 1000
+	// MaxRuns bounds the entry processes whose incarnation is remembered.
+	MaxRuns = 1000
 	// MaxTouches is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
 	MaxTouches = 10_000
@@ -53,6 +55,9 @@
 	// Gone holds the entry processes that were declared gone, with the time of
 	// the declaration: runs that started before it have ended. At most MaxGone.
 	Gone map[model.Process]clock.Millis
+	// Runs holds the latest incarnation of each entry process that claimed; at
+	// most MaxRuns, and each only grows.
+	Runs map[model.Process]uint64
 	// Outages lists the finished outages in the order of their ends; at most
 	// MaxOutages. Budgets are computed from them, also by a new leader.
 	Outages []model.Outage
@@ -66,7 +71,11 @@
 
 // HeldClaim is a claimed idempotency key.
 type HeldClaim struct {
-	Token  string
+	Token string
+	// Owner and Run name the entry process that runs the request, and its
+	// incarnation.
+	Owner  model.Process
+	Run    uint64
 	State  model.ClaimState
 	Status int
 }
@@ -94,6 +103,7 @@
 		Claims:      NewMemory[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
 		Authors:     map[string]Author{},
 		Gone:        map[model.Process]clock.Millis{},
+		Runs:        map[model.Process]uint64{},
 	}
 }
 
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -44,7 +44,10 @@
 	Instances   []InstanceStep
 	Claims      []Claim
 	Outcomes    []ClaimOutcome
-	Process     Process
+	// Process and Run name the entry process that claims, and its incarnation;
+	// Process alone names one that is gone.
+	Process Process
+	Run     uint64
 }
 
 // InstanceStep moves one instance from one phase to the next. Base must be
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -26,6 +26,9 @@
 		Touches:     list(s.Touches, touchToWire),
 		Outages:     list(s.Outages, OutageToWire),
 	}
+	for _, p := range slices.Sorted(maps.Keys(s.Runs)) {
+		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Runs[p]})
+	}
 	for _, p := range slices.Sorted(maps.Keys(s.Gone)) {
 		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.Gone[p])})
 	}
@@ -36,6 +39,8 @@
 		w.Claims = append(w.Claims, &wirepb.RememberedClaim{
 			Key:    ClaimKeyToWire(k),
 			Token:  text(c.Token),
+			Owner:  text(c.Owner),
+			Run:    c.Run,
 			State:  int32(c.State),
 			Status: int64(c.Status),
 			TimeMs: int64(t),
@@ -104,6 +109,12 @@
 		return nil, err
 	}
 	s.Outages = outages
+	for _, r := range w.GetRuns() {
+		if r.GetProcess() == "" {
+			return nil, stateError(KindMissing, "a run has no process")
+		}
+		s.Runs[model.Process(r.GetProcess())] = r.GetIncarnation()
+	}
 	for _, g := range w.GetGone() {
 		if g.GetProcess() == "" {
 			return nil, stateError(KindMissing, "a process that is gone has no name")
@@ -186,7 +197,10 @@
 			return stateError(KindRange, "a claim of %d ms follows one of %d ms", t, last)
 		}
 		last = t
-		s.Claims.Put(k, fleet.HeldClaim{Token: m.GetToken(), State: state, Status: int(m.GetStatus())}, t)
+		s.Claims.Put(k, fleet.HeldClaim{
+			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Run: m.GetRun(),
+			State: state, Status: int(m.GetStatus()),
+		}, t)
 	}
 	return nil
 }
