--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -11,7 +11,7 @@
 
 // Ask waits for the right to send a request. Exactly one of the results is
 // set. A refused request has not run; the holder of a grant must call Done.
-func (d *Dispatcher[P, Q]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
+func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
 	a := d.asks.Get().(*ask)
 	a.request = r
 	if !d.in.Put(message{kind: messageAsk, ask: a}) {
@@ -33,7 +33,7 @@
 
 // giveUp cancels an ask. The ask is not used again, because the dispatcher may
 // still see the cancel after its answer.
-func (d *Dispatcher[P, Q]) giveUp(ctx context.Context, a *ask) (Grant, *Refusal) {
+func (d *Dispatcher[P, Q, L]) giveUp(ctx context.Context, a *ask) (Grant, *Refusal) {
 	if !d.in.PutWait(message{kind: messageCancel, ask: a}, d.done) {
 		return Grant{}, stopped()
 	}
@@ -60,57 +60,57 @@
 
 // Done gives a grant back. It waits for room in the ring, so that no end of a
 // request is lost while the duty runs.
-func (d *Dispatcher[P, Q]) Done(t Ticket, o Outcome, elapsed clock.Millis) {
+func (d *Dispatcher[P, Q, L]) Done(t Ticket, o Outcome, elapsed clock.Millis) {
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
 
 // Table puts a change of the table in force. The version never goes down; a
 // delta that does not follow on the table is a KindVersion error. An empty
 // delta from the version in force confirms the table after a pause.
-func (d *Dispatcher[P, Q]) Table(delta model.Delta) error {
+func (d *Dispatcher[P, Q, L]) Table(delta model.Delta) error {
 	return d.call(&command{op: opTable, delta: delta}).err
 }
 
 // Announce takes in an announcement from an upstream itself.
-func (d *Dispatcher[P, Q]) Announce(a model.Announcement) error {
+func (d *Dispatcher[P, Q, L]) Announce(a model.Announcement) error {
 	return d.Hear(member.Heard{Announcement: a, Direct: true})
 }
 
 // Hear takes in an announcement from an upstream or from a neighbour.
-func (d *Dispatcher[P, Q]) Hear(h member.Heard) error {
+func (d *Dispatcher[P, Q, L]) Hear(h member.Heard) error {
 	return d.call(&command{op: opHear, heard: h}).err
 }
 
 // News returns what upstreams themselves announced after a sequence number,
 // for the neighbours, and the number to ask from next.
-func (d *Dispatcher[P, Q]) News(since uint64) ([]member.Heard, uint64) {
+func (d *Dispatcher[P, Q, L]) News(since uint64) ([]member.Heard, uint64) {
 	c := d.call(&command{op: opNews, since: since})
 	return c.news, c.since
 }
 
 // Drained returns the highest version of the table such that no request in
 // flight uses an instance released at or below it.
-func (d *Dispatcher[P, Q]) Drained() model.Version { return model.Version(d.drained.Load()) }
+func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drained.Load()) }
 
 // Ready reports whether requests are admitted: a table was read, and read again
 // after the last pause of this process.
-func (d *Dispatcher[P, Q]) Ready() bool { return d.serving.Load() }
+func (d *Dispatcher[P, Q, L]) Ready() bool { return d.serving.Load() }
 
 // Snapshot returns a copy of the state; its cost follows the number of
 // customers and upstreams.
-func (d *Dispatcher[P, Q]) Snapshot() Status {
+func (d *Dispatcher[P, Q, L]) Snapshot() Status {
 	s := d.call(&command{op: opStatus}).status
 	s.Counts.RingFull = d.in.Refused()
 	return s
 }
 
 // Configuration returns a copy of the table in force.
-func (d *Dispatcher[P, Q]) Configuration() model.Table {
+func (d *Dispatcher[P, Q, L]) Configuration() model.Table {
 	return d.call(&command{op: opConfig}).table
 }
 
 // call hands a command to the duty and waits until it was carried out.
-func (d *Dispatcher[P, Q]) call(c *command) *command {
+func (d *Dispatcher[P, Q, L]) call(c *command) *command {
 	c.reply = make(chan struct{})
 	if !d.in.PutWait(message{kind: messageCommand, command: c}, d.done) {
 		c.err = fail("dispatcher", KindStopped, "the duty has ended")
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -21,6 +21,7 @@
 	opConfig
 	opInstance
 	opLive
+	opLoans
 )
 
 // command is a call that the duty answers; the fields of its op are set.
@@ -38,11 +39,13 @@
 	instance model.Instance
 	known    bool
 	live     []model.Announcement
+	// loans is run by the duty, for the calls on loans.
+	loans func(now clock.Millis)
 	// reply is closed once the command was carried out.
 	reply chan struct{}
 }
 
-func (d *Dispatcher[P, Q]) command(now clock.Millis, c *command) {
+func (d *Dispatcher[P, Q, L]) command(now clock.Millis, c *command) {
 	switch c.op {
 	case opTable:
 		c.err = d.merge(now, c.delta)
@@ -65,12 +68,14 @@
 		c.instance, c.known = d.table.Instances[c.instance.ID]
 	case opLive:
 		c.live = d.live(now)
+	case opLoans:
+		c.loans(now)
 	}
 	close(c.reply)
 }
 
 // merge puts a delta in force; its cost follows the size of the delta.
-func (d *Dispatcher[P, Q]) merge(now clock.Millis, delta model.Delta) error {
+func (d *Dispatcher[P, Q, L]) merge(now clock.Millis, delta model.Delta) error {
 	before := d.table
 	if delta.Full {
 		delta.RemovedContracts, delta.RemovedInstances = missing(before, delta)
@@ -82,10 +87,12 @@
 	for _, i := range delta.Instances {
 		d.countSlots(i.ID, i)
 		d.router.SetInstance(now, i, before.Version)
+		d.loans.EndInstance(i)
 	}
 	for _, id := range delta.RemovedInstances {
 		d.countSlots(id, model.Instance{})
 		d.router.RemoveInstance(now, id, before.Version)
+		d.loans.EndInstance(model.Instance{ID: id, Phase: model.PhaseRetired})
 	}
 	for _, c := range delta.Contracts {
 		d.setContract(c)
@@ -127,13 +134,13 @@
 	return contracts, instances
 }
 
-func (d *Dispatcher[P, Q]) setContract(c model.Contract) {
+func (d *Dispatcher[P, Q, L]) setContract(c model.Contract) {
 	share := admit.LimitOf(c, d.slotsOf).Divide(d.rank, d.count)
 	d.refuseAll(d.gate.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPool)
 }
 
 // deriveAgain derives the limits again that follow the instances' slots.
-func (d *Dispatcher[P, Q]) deriveAgain() {
+func (d *Dispatcher[P, Q, L]) deriveAgain() {
 	for _, c := range d.table.Contracts {
 		if c.Concurrency == 0 {
 			d.setContract(c)
@@ -141,7 +148,7 @@
 	}
 }
 
-func (d *Dispatcher[P, Q]) refuseAll(asks []*ask, why admit.Reason) {
+func (d *Dispatcher[P, Q, L]) refuseAll(asks []*ask, why admit.Reason) {
 	for _, a := range asks {
 		d.refuse(a, d.refusal(why, a.request.Pool))
 	}
@@ -151,16 +158,19 @@
 type counted struct {
 	pool  model.Pool
 	slots int
+	// zone is empty unless the instance serves.
+	zone model.Zone
 }
 
 // countSlots keeps the number of instances by pool and slots.
-func (d *Dispatcher[P, Q]) countSlots(id model.InstanceID, i model.Instance) {
+func (d *Dispatcher[P, Q, L]) countSlots(id model.InstanceID, i model.Instance) {
 	if old, ok := d.counted[id]; ok {
 		d.slots[old.pool][old.slots]--
 		if d.slots[old.pool][old.slots] == 0 {
 			delete(d.slots[old.pool], old.slots)
 		}
 		delete(d.counted, id)
+		d.countZone(old, -1)
 	}
 	if i.ID == "" || i.Phase == model.PhaseRetired {
 		return
@@ -169,12 +179,30 @@
 		d.slots[i.Pool] = map[int]int{}
 	}
 	d.slots[i.Pool][i.Slots]++
-	d.counted[id] = counted{pool: i.Pool, slots: i.Slots}
+	c := counted{pool: i.Pool, slots: i.Slots}
+	if i.Phase == model.PhaseServing {
+		c.zone = i.Zone
+	}
+	d.counted[id] = c
+	d.countZone(c, 1)
+}
+
+func (d *Dispatcher[P, Q, L]) countZone(c counted, n int) {
+	if c.zone == "" {
+		return
+	}
+	if d.spread[c.pool] == nil {
+		d.spread[c.pool] = map[model.Zone]int{}
+	}
+	d.spread[c.pool][c.zone] += n
+	if d.spread[c.pool][c.zone] == 0 {
+		delete(d.spread[c.pool], c.zone)
+	}
 }
 
 // slotsOf returns the slots of the largest instance of a pool. It depends on
 // the table alone, so all entry processes at one version derive the same.
-func (d *Dispatcher[P, Q]) slotsOf(p model.Pool) int {
+func (d *Dispatcher[P, Q, L]) slotsOf(p model.Pool) int {
 	n := 0
 	for slots := range d.slots[p] {
 		n = max(n, slots)
@@ -185,7 +213,7 @@
 	return n
 }
 
-func (d *Dispatcher[P, Q]) hear(now clock.Millis, h member.Heard) error {
+func (d *Dispatcher[P, Q, L]) hear(now clock.Millis, h member.Heard) error {
 	before, known := d.roster.Get(h.Announcement.Instance)
 	changed, err := d.roster.Accept(now, h)
 	if err != nil {
@@ -207,13 +235,14 @@
 	return nil
 }
 
-func (d *Dispatcher[P, Q]) status() Status {
+func (d *Dispatcher[P, Q, L]) status() Status {
 	s := Status{
 		Version: d.table.Version,
 		Drained: d.router.Drained(),
 		Ready:   d.ready,
 		Pauses:  d.roster.Pauses,
 		Counts:  d.counts,
+		Loans:   d.loans.Counts,
 	}
 	d.gate.Each(func(a *admit.Account[*ask]) {
 		s.Customers = append(s.Customers, CustomerStatus{
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -4,7 +4,6 @@
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
-	"camphorridge/core/state/route"
 )
 
 // impatient is the multiple of the typical run time below which a passed
@@ -12,7 +11,7 @@
 const impatient = 2
 
 // admit grants, queues or refuses an ask.
-func (d *Dispatcher[P, Q]) admit(now clock.Millis, a *ask) {
+func (d *Dispatcher[P, Q, L]) admit(now clock.Millis, a *ask) {
 	d.counts.Asks++
 	r := &a.request
 	if !d.ready {
@@ -34,7 +33,7 @@
 	// While others wait that could run, the newcomer joins the queue, so that
 	// the choice stays fair.
 	if line.CanRun() && line.Len() == 0 && !d.gate.Waits(r.Pool) {
-		if h, ok := d.router.Pick(now, r.Pool, r.Avoid); ok {
+		if h, ok := d.pick(now, r.Pool, r.Avoid); ok {
 			d.gate.Start(line)
 			d.grant(a, line, h)
 			return
@@ -44,7 +43,7 @@
 }
 
 // spend pays for a retry, or credits the budget for a first try.
-func (d *Dispatcher[P, Q]) spend(line *admit.Line[*ask], r *Request) admit.Reason {
+func (d *Dispatcher[P, Q, L]) spend(line *admit.Line[*ask], r *Request) admit.Reason {
 	if !r.Retry {
 		line.Account.Credit()
 		return admit.ReasonNone
@@ -56,18 +55,19 @@
 	return admit.ReasonNone
 }
 
-func (d *Dispatcher[P, Q]) queue(now clock.Millis, a *ask, line *admit.Line[*ask]) {
+func (d *Dispatcher[P, Q, L]) queue(now clock.Millis, a *ask, line *admit.Line[*ask]) {
 	r := &a.request
 	upstreams, slots := d.router.Routable(r.Pool)
 	switch {
+	case slots > 0 || d.mayBorrow(now, r.Pool):
 	case upstreams == 0:
 		d.refuse(a, noUpstream(r.Pool))
 		return
-	case slots == 0:
+	default:
 		d.refuse(a, d.refusal(admit.ReasonShare, r.Pool))
 		return
 	}
-	room := max(d.router.Room(now, r.Pool), 1)
+	room := max(d.room(now, r.Pool), 1)
 	w, why := d.gate.Join(now, r.Deadline, line, room, a)
 	if why != admit.ReasonNone {
 		f := d.refusal(why, r.Pool)
@@ -80,9 +80,9 @@
 }
 
 // pump starts waiters of a pool while upstreams have room.
-func (d *Dispatcher[P, Q]) pump(now clock.Millis, p model.Pool) {
+func (d *Dispatcher[P, Q, L]) pump(now clock.Millis, p model.Pool) {
 	for d.gate.Waits(p) {
-		h, ok := d.router.Pick(now, p, "")
+		h, ok := d.pick(now, p, "")
 		if !ok {
 			return
 		}
@@ -90,7 +90,7 @@
 		d.late = late
 		d.refuseLate()
 		if w == nil {
-			d.router.Return(h)
+			d.unpick(now, h)
 			return
 		}
 		w.Ref.waiter = nil
@@ -98,34 +98,27 @@
 	}
 }
 
-func (d *Dispatcher[P, Q]) grant(a *ask, line *admit.Line[*ask], h route.Held) {
-	var at uint32
-	if n := len(d.free); n > 0 {
-		at = d.free[n-1]
-		d.free = d.free[:n-1]
+func (d *Dispatcher[P, Q, L]) grant(a *ask, line *admit.Line[*ask], at place) {
+	var n uint32
+	if last := len(d.free) - 1; last >= 0 {
+		n = d.free[last]
+		d.free = d.free[:last]
 	} else {
-		at = uint32(len(d.flights))
+		n = uint32(len(d.flights))
 		d.flights = append(d.flights, flight{})
 	}
-	f := &d.flights[at]
-	f.line, f.held, f.id = line, h, a.request.ID
-	u := h.Upstream
+	f := &d.flights[n]
+	f.line, f.place, f.id = line, at, a.request.ID
 	f.number++
 	d.counts.Grants++
-	a.grant = Grant{
-		Ticket: Ticket(f.number)<<32 | Ticket(at),
-		Upstream: Upstream{
-			Instance: u.Instance, Address: u.Address, Incarnation: u.Incarnation,
-			HealthPath: u.HealthPath, Connections: max(u.Connections, 1),
-		},
-	}
+	a.grant = Grant{Ticket: Ticket(f.number)<<32 | Ticket(n), Upstream: at.upstream(a.request.Deadline)}
 	a.refusal = nil
 	a.reply <- struct{}{}
 }
 
 // end gives back what a grant held. A ticket that is not in flight is counted
 // and ignored.
-func (d *Dispatcher[P, Q]) end(now clock.Millis, m message) {
+func (d *Dispatcher[P, Q, L]) end(now clock.Millis, m message) {
 	at, number := uint32(m.ticket), uint32(m.ticket>>32)
 	if int(at) >= len(d.flights) || d.flights[at].number != number || d.flights[at].line == nil {
 		d.counts.Strays++
@@ -133,13 +126,13 @@
 	}
 	d.counts.Dones++
 	f := d.flights[at]
-	d.flights[at].line, d.flights[at].held, d.flights[at].id = nil, route.Held{}, ""
+	d.flights[at].line, d.flights[at].place, d.flights[at].id = nil, place{}, ""
 	d.free = append(d.free, at)
 	elapsed := m.elapsed
 	if m.outcome == OutcomeUnknown || m.outcome == OutcomeTimeout {
 		d.event(model.Event{
 			Kind: model.EventUnknown, Customer: f.line.Account.Customer, Pool: f.line.Pool,
-			Instance: f.held.Upstream.Instance, Request: f.id,
+			Instance: f.instance(), Request: f.id,
 		})
 	}
 	switch m.outcome {
@@ -154,9 +147,9 @@
 	}
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
-	if d.router.End(now, f.held, m.outcome) {
+	if d.leave(now, f.place, m.outcome) {
 		d.counts.Ejections++
-		d.event(model.Event{Kind: model.EventEjected, Instance: f.held.Upstream.Instance, Pool: f.line.Pool, Limit: "failures"})
+		d.event(model.Event{Kind: model.EventEjected, Instance: f.instance(), Pool: f.line.Pool, Limit: "failures"})
 	}
 	d.pump(now, f.line.Pool)
 	if full && f.line.Account.Waiting > 0 {
@@ -167,7 +160,7 @@
 
 // cancel takes an ask out of its queue. A grant that was made before is given
 // back by the caller.
-func (d *Dispatcher[P, Q]) cancel(a *ask) {
+func (d *Dispatcher[P, Q, L]) cancel(a *ask) {
 	if a.waiter == nil {
 		return
 	}
@@ -176,7 +169,7 @@
 	d.refuse(a, Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"})
 }
 
-func (d *Dispatcher[P, Q]) refuseLate() {
+func (d *Dispatcher[P, Q, L]) refuseLate() {
 	for i, a := range d.late {
 		d.counts.Expired++
 		d.refuse(a, d.refusal(admit.ReasonDeadline, a.request.Pool))
@@ -185,7 +178,7 @@
 	d.late = d.late[:0]
 }
 
-func (d *Dispatcher[P, Q]) refuse(a *ask, r Refusal) {
+func (d *Dispatcher[P, Q, L]) refuse(a *ask, r Refusal) {
 	d.counts.Refused++
 	if r.Kind != RefusalUnknown && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
 		d.refusals[refused{a.request.Customer, a.request.Pool, r.Reason}]++
@@ -199,7 +192,7 @@
 	return Refusal{Kind: RefusalCapacity, Reason: "no upstream of " + string(p), RetryAfter: clock.Second}
 }
 
-func (d *Dispatcher[P, Q]) refusal(why admit.Reason, p model.Pool) Refusal {
+func (d *Dispatcher[P, Q, L]) refusal(why admit.Reason, p model.Pool) Refusal {
 	r := Refusal{Reason: why.String(), RetryAfter: clock.Second}
 	switch why {
 	case admit.ReasonContract, admit.ReasonPool:
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/member"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/ring"
@@ -55,17 +56,23 @@
 	waiter *admit.Waiter[*ask]
 }
 
+// place is a reserved slot: of the own share, or of a loan when that is set.
+type place struct {
+	held route.Held
+	loan *lend.Held
+}
+
 // flight is a granted request.
 type flight struct {
 	line *admit.Line[*ask]
-	held route.Held
-	id   string
+	place
+	id string
 	// number makes the tickets of one place different over time.
 	number uint32
 }
 
 // Dispatcher is the duty that owns admission, routing and announcements.
-type Dispatcher[P admit.Picker, Q route.Policy] struct {
+type Dispatcher[P admit.Picker, Q route.Policy, L lend.Policy] struct {
 	cfg  Settings
 	clk  clock.Clock
 	in   *ring.Ring[message]
@@ -78,7 +85,15 @@
 	gate    *admit.Gate[P, *ask]
 	router  *route.Router[Q]
 	roster  *member.Roster
-	table   model.Table
+	loans   *lend.Ledger[L]
+	// borrowing holds the pools with loans, for the time line.
+	borrowing map[model.Pool]bool
+	// rolled is the time of the last Roll of the router.
+	rolled clock.Millis
+	needs  []lend.Need
+	orders []lend.Order
+	stocks []lend.Stock
+	table  model.Table
 	// ready is false before the first table, and after a pause of this process
 	// until the table was read again.
 	ready bool
@@ -87,6 +102,8 @@
 	// slots counts the instances of each pool by their number of slots.
 	slots   map[model.Pool]map[int]int
 	counted map[model.InstanceID]counted
+	// spread counts the serving instances of each pool by zone.
+	spread  map[model.Pool]map[model.Zone]int
 	flights []flight
 	free    []uint32
 	counts  Counts
@@ -101,7 +118,7 @@
 }
 
 // New returns a dispatcher that is not running yet.
-func New[P admit.Picker, Q route.Policy](cfg Settings, clk clock.Clock, picker P, policy Q) *Dispatcher[P, Q] {
+func New[P admit.Picker, Q route.Policy, L lend.Policy](cfg Settings, clk clock.Clock, picker P, policy Q, lending L) *Dispatcher[P, Q, L] {
 	if cfg.Ring <= 0 {
 		cfg.Ring = DefaultRing
 	}
@@ -112,16 +129,19 @@
 			near = append(near, m.Name)
 		}
 	}
-	d := &Dispatcher[P, Q]{
-		cfg:      cfg,
-		clk:      clk,
-		in:       ring.New[message](cfg.Ring),
-		done:     make(chan struct{}),
-		gate:     admit.New[P, *ask](picker),
-		roster:   member.New(member.Settings{Zone: cfg.Zone, Lease: cfg.Lease}, clk.Now()),
-		refusals: map[refused]int{},
-		slots:    map[model.Pool]map[int]int{},
-		counted:  map[model.InstanceID]counted{},
+	d := &Dispatcher[P, Q, L]{
+		cfg:       cfg,
+		clk:       clk,
+		in:        ring.New[message](cfg.Ring),
+		done:      make(chan struct{}),
+		gate:      admit.New[P, *ask](picker),
+		roster:    member.New(member.Settings{Zone: cfg.Zone, Lease: cfg.Lease}, clk.Now()),
+		refusals:  map[refused]int{},
+		slots:     map[model.Pool]map[int]int{},
+		counted:   map[model.InstanceID]counted{},
+		spread:    map[model.Pool]map[model.Zone]int{},
+		loans:     lend.New(cfg.Lending, lending, clk.Now()),
+		borrowing: map[model.Pool]bool{},
 		table: model.Table{
 			Contracts: map[model.Customer]model.Contract{},
 			Instances: map[model.InstanceID]model.Instance{},
@@ -129,13 +149,17 @@
 	}
 	d.rank, d.count = admit.Rank(all, cfg.Self)
 	zoneRank, zoneCount := admit.Rank(near, cfg.Self)
-	d.router = route.New(route.Settings{Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount}, policy)
+	d.router = route.New(route.Settings{
+		Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount,
+		Lending: d.loans.On(), ReservePercent: cfg.Lending.ReservePercent,
+	}, policy)
+	d.router.Quarantine = d.loans.Quarantined(clk.Now())
 	d.asks.New = func() any { return &ask{reply: make(chan struct{}, 1)} }
 	return d
 }
 
 // Run is the duty's loop; it returns after Stop.
-func (d *Dispatcher[P, Q]) Run() error {
+func (d *Dispatcher[P, Q, L]) Run() error {
 	buf := make([]message, 0, batch)
 	tick := d.clk.After(tickEvery)
 	for {
@@ -160,16 +184,16 @@
 }
 
 // publish copies what other goroutines read without a message.
-func (d *Dispatcher[P, Q]) publish() {
+func (d *Dispatcher[P, Q, L]) publish() {
 	d.drained.Store(uint64(d.router.Drained()))
 	d.serving.Store(d.ready)
 }
 
 // Stop ends the duty. Asks that wait are refused.
-func (d *Dispatcher[P, Q]) Stop() { d.stop.Do(func() { close(d.done) }) }
+func (d *Dispatcher[P, Q, L]) Stop() { d.stop.Do(func() { close(d.done) }) }
 
 // observe reads the clock and notices a pause of this process.
-func (d *Dispatcher[P, Q]) observe() clock.Millis {
+func (d *Dispatcher[P, Q, L]) observe() clock.Millis {
 	now := d.clk.Now()
 	if d.roster.Observe(now) {
 		d.ready = false
@@ -177,7 +201,7 @@
 	return now
 }
 
-func (d *Dispatcher[P, Q]) handle(now clock.Millis, m message) {
+func (d *Dispatcher[P, Q, L]) handle(now clock.Millis, m message) {
 	switch m.kind {
 	case messageAsk:
 		d.admit(now, m.ask)
@@ -191,7 +215,7 @@
 }
 
 // tick handles what only the passing of time changes.
-func (d *Dispatcher[P, Q]) tick(now clock.Millis) {
+func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
 	d.lapsed = d.roster.Lapse(now, d.lapsed[:0])
 	for _, r := range d.lapsed {
 		d.router.SetMember(now, r.Announcement, false)
@@ -204,15 +228,16 @@
 	d.late = d.gate.Expire(now, d.late[:0])
 	d.refuseLate()
 	d.pumpAll(now)
+	d.tickLoans(now)
 	d.report(now)
 }
 
 // pumpAll starts waiters wherever there is room, and refuses those of pools
 // that lost their last upstream.
-func (d *Dispatcher[P, Q]) pumpAll(now clock.Millis) {
+func (d *Dispatcher[P, Q, L]) pumpAll(now clock.Millis) {
 	d.pools = d.gate.Waiting(d.pools[:0])
 	for _, p := range d.pools {
-		if _, slots := d.router.Routable(p); slots == 0 {
+		if _, slots := d.router.Routable(p); slots == 0 && !d.mayBorrow(now, p) {
 			d.late = d.gate.Clear(p, d.late[:0])
 			for _, a := range d.late {
 				d.refuse(a, noUpstream(p))
@@ -232,7 +257,7 @@
 
 // report writes one event for each kind of refusal, at most once a second, so
 // that a flood of refusals does not push other events out of the time line.
-func (d *Dispatcher[P, Q]) report(now clock.Millis) {
+func (d *Dispatcher[P, Q, L]) report(now clock.Millis) {
 	if now-d.reported < clock.Second {
 		return
 	}
@@ -246,7 +271,7 @@
 	}
 }
 
-func (d *Dispatcher[P, Q]) event(e model.Event) {
+func (d *Dispatcher[P, Q, L]) event(e model.Event) {
 	if d.cfg.Events != nil {
 		e.Process = d.cfg.Self
 		d.cfg.Events.Put(e)
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -9,6 +9,7 @@
 
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/route"
 
@@ -16,7 +17,7 @@
 	"gotest.tools/v3/poll"
 )
 
-type dispatcher = Dispatcher[admit.Fair, route.LeastLoaded]
+type dispatcher = Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
 
 // start runs a dispatcher with a pool svc of two upstreams with the given
 // slots.
@@ -29,7 +30,7 @@
 	t.Helper()
 	d := New(Settings{
 		Self: "e1", Zone: "z1", Entries: []model.Member{{Name: "e1", Zone: "z1"}}, Lease: clock.Minute,
-	}, clk, admit.Fair{}, route.LeastLoaded{})
+	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
 	t.Cleanup(func() { d.Stop(); <-ended })
@@ -170,7 +171,7 @@
 
 // Guards against a full ring that blocks callers or is not told.
 func TestFullRingRefuses(t *testing.T) {
-	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.Fair{}, route.LeastLoaded{})
+	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
 		assert.Assert(t, d.in.Put(message{kind: messageDone}))
 	}
--- a/core/coord/entry/lookup.go
+++ b/core/coord/entry/lookup.go
@@ -8,18 +8,18 @@
 
 // Instance returns the table's entry of an instance; ok is false when the
 // table does not have it.
-func (d *Dispatcher[P, Q]) Instance(id model.InstanceID) (i model.Instance, ok bool) {
+func (d *Dispatcher[P, Q, L]) Instance(id model.InstanceID) (i model.Instance, ok bool) {
 	c := d.call(&command{op: opInstance, instance: model.Instance{ID: id}})
 	return c.instance, c.known
 }
 
 // Live returns the announcements whose lease holds. Its cost follows the
 // number of upstreams in the zone.
-func (d *Dispatcher[P, Q]) Live() []model.Announcement {
+func (d *Dispatcher[P, Q, L]) Live() []model.Announcement {
 	return d.call(&command{op: opLive}).live
 }
 
-func (d *Dispatcher[P, Q]) live(now clock.Millis) []model.Announcement {
+func (d *Dispatcher[P, Q, L]) live(now clock.Millis) []model.Announcement {
 	var all []model.Announcement
 	d.roster.Each(func(r *member.Record) {
 		if r.Live(now) {
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/ring"
 	"camphorridge/core/state/route"
@@ -52,6 +53,10 @@
 	Lease clock.Millis
 	// Events receives the events of the time line; nil drops them.
 	Events *ring.Ring[model.Event]
+	// Lending says how slots are lent; its zero value turns that off. Orders
+	// receives the messages to other entry processes and is needed otherwise.
+	Lending lend.Settings
+	Orders  *ring.Ring[lend.Order]
 }
 
 // Request asks for the right to send one request to an upstream.
@@ -79,6 +84,12 @@
 	HealthPath  string
 	// Connections is this process's share; at least 1.
 	Connections int
+	// Loan names the loan that the slot belongs to; empty for the own share.
+	// The connections of each loan are apart from all others.
+	Loan string
+	// Until is the time from which no byte of the request may be written; 0 for
+	// a slot of the own share.
+	Until clock.Millis
 }
 
 // Grant is the right to send one request. Its holder must call Done once.
@@ -157,4 +168,5 @@
 	Counts    Counts
 	Customers []CustomerStatus
 	Upstreams []route.Upstream
+	Loans     lend.Counts
 }
--- /dev/null
+++ b/core/coord/lender/lender.go
@@ -0,0 +1,165 @@
+package lender
+
+import (
+	"context"
+	"sync"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+)
+
+// Bounds of the duty.
+const (
+	// peerRing holds more than the orders that a ledger has under way to one
+	// process.
+	peerRing = 16
+	// callTimeout bounds one message. It is far below the rest of a lease at
+	// the time of its renewal.
+	callTimeout clock.Millis = 250
+	// closeTries and closeWait bound the wait for connections whose last
+	// response was just read.
+	closeTries              = 5
+	closeWait  clock.Millis = 5
+)
+
+// Peers carries messages to other entry processes. An error means that there
+// was no answer.
+type Peers interface {
+	Lend(ctx context.Context, to model.Member, a lend.Ask) (lend.Answer, error)
+	Return(ctx context.Context, to model.Member, r lend.Return) error
+	Recall(ctx context.Context, to model.Member, r lend.Recall) (clear bool, err error)
+}
+
+// Book takes in how the orders ended.
+type Book interface {
+	Answered(o lend.Order, asked clock.Millis, a lend.Answer, ok bool)
+	Returned(o lend.Order, ok bool)
+	Acknowledged(from model.Process)
+}
+
+// Links closes the connections of a loan and reports whether none is left.
+type Links interface {
+	Close(name string) bool
+}
+
+// Lender is the duty. Its ring is filled by the owner of the ledger.
+type Lender[P Peers, B Book, L Links] struct {
+	in    *ring.Ring[lend.Order]
+	peers P
+	book  B
+	links L
+	clock clock.Clock
+	to    map[model.Process]peer
+	done  chan struct{}
+}
+
+type peer struct {
+	member model.Member
+	in     *ring.Ring[lend.Order]
+}
+
+// New returns a duty that reads orders from in.
+func New[P Peers, B Book, L Links](in *ring.Ring[lend.Order], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
+	d := &Lender[P, B, L]{
+		in: in, peers: p, book: b, links: l, clock: c,
+		to: map[model.Process]peer{}, done: make(chan struct{}),
+	}
+	for _, m := range entries {
+		d.to[m.Name] = peer{member: m, in: ring.New[lend.Order](peerRing)}
+	}
+	return d
+}
+
+// Run hands the orders out until Stop.
+func (d *Lender[P, B, L]) Run() error {
+	var wg sync.WaitGroup
+	for _, p := range d.to {
+		wg.Go(func() { d.runPeer(p) })
+	}
+	defer wg.Wait()
+	for {
+		select {
+		case o := <-d.in.C():
+			if p, ok := d.to[o.To]; !ok || !p.in.Put(o) {
+				d.fail(o)
+			}
+		case <-d.done:
+			return nil
+		}
+	}
+}
+
+// Stop ends Run.
+func (d *Lender[P, B, L]) Stop() { close(d.done) }
+
+// Refused is the number of orders that found a full ring.
+func (d *Lender[P, B, L]) Refused() int64 {
+	n := d.in.Refused()
+	for _, p := range d.to {
+		n += p.in.Refused()
+	}
+	return n
+}
+
+func (d *Lender[P, B, L]) runPeer(p peer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		select {
+		case o := <-p.in.C():
+			d.carry(ctx, p.member, o)
+		case <-d.done:
+			return
+		}
+	}
+}
+
+// carry sends one order and tells the book how it ended.
+func (d *Lender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Order) {
+	if !d.closed(o.Close) {
+		d.fail(o)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	// A lease counts from before its ask was sent, so that it ends here before
+	// it ends at the lender, whatever the message took.
+	asked := d.clock.Now()
+	switch o.Kind {
+	case lend.OrderAsk:
+		a, err := d.peers.Lend(ctx, to, o.Ask)
+		d.book.Answered(o, asked, a, err == nil)
+	case lend.OrderReturn:
+		d.book.Returned(o, d.peers.Return(ctx, to, o.Return) == nil)
+	case lend.OrderRecall:
+		if clear, err := d.peers.Recall(ctx, to, o.Recall); err == nil && clear {
+			d.book.Acknowledged(o.To)
+		}
+	}
+}
+
+func (d *Lender[P, B, L]) closed(names []string) bool {
+	for try := 1; ; try++ {
+		left := false
+		for _, name := range names {
+			left = !d.links.Close(name) || left
+		}
+		if !left || try == closeTries {
+			return !left
+		}
+		<-d.clock.After(closeWait)
+	}
+}
+
+// fail ends an order that was not sent as one without an answer.
+func (d *Lender[P, B, L]) fail(o lend.Order) {
+	switch o.Kind {
+	case lend.OrderAsk:
+		d.book.Answered(o, d.clock.Now(), lend.Answer{}, false)
+	case lend.OrderReturn:
+		d.book.Returned(o, false)
+	case lend.OrderRecall:
+	}
+}
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -277,6 +277,19 @@
 	return false
 }
 
+// Runnable is the number of waiters of a pool whose customers may run now.
+func (g *Gate[P, R]) Runnable(p model.Pool) int {
+	h := g.pools[p]
+	if h == nil {
+		return 0
+	}
+	n := 0
+	for _, l := range h.active {
+		n += max(0, min(l.length, l.Account.Limit.InFlight-l.Account.Running))
+	}
+	return n
+}
+
 // Next takes the waiter out of a pool that runs next, and counts it as
 // running. Waiters that can no longer end in time are appended to late. It
 // returns nil when none may run.
--- /dev/null
+++ b/core/state/lend/policy.go
@@ -0,0 +1,110 @@
+package lend
+
+import "camphorridge/core/state/clock"
+
+// Pressure is the state of a pool in a process that may need more slots.
+type Pressure struct {
+	// Waiting is the number of waiters whose customers may run now.
+	Waiting int
+	// Room is the number of requests that own and held slots run at once.
+	Room int
+	// Typical is the smoothed run time; 0 when it is not known.
+	Typical clock.Millis
+	// Lasting is how long there have been such waiters without a break.
+	Lasting clock.Millis
+}
+
+// Stock is the state of an upstream in a process that may lend its slots.
+type Stock struct {
+	Loan
+	// Slots of the Loan is this process's share; Lendable is the part of it
+	// that may be lent, and PerSlot the connections that go with a lent slot.
+	Lendable int
+	PerSlot  int
+	// Peak is the largest number of own requests at once in the last seconds.
+	Peak int
+	// Running is the number of own requests in flight; at most Peak.
+	Running int
+	// Lent is the number of slots lent already.
+	Lent int
+	// Waiting is the number of own waiters in the pool.
+	Waiting int
+}
+
+// Policy decides how much to ask for and how much to give.
+type Policy interface {
+	// Want returns the slots to ask for.
+	Want(p Pressure) int
+	// Give returns the slots to lend, at most Lendable-Lent.
+	Give(s Stock) int
+	// Keep reports whether a held loan that was unused for a time is kept.
+	Keep(idle, lease clock.Millis) bool
+}
+
+// Never is the baseline: fixed shares.
+type Never struct{}
+
+// Want returns 0.
+func (Never) Want(Pressure) int { return 0 }
+
+// Give returns 0.
+func (Never) Give(Stock) int { return 0 }
+
+// Keep returns false.
+func (Never) Keep(clock.Millis, clock.Millis) bool { return false }
+
+const (
+	// patience is the wait that own slots should keep to before others are
+	// asked, and the time that the pressure must have lasted.
+	patience clock.Millis = 100
+	// guess stands for an unknown run time.
+	guess clock.Millis = 20
+)
+
+// Idle asks when waiters would wait longer than patience, and gives the slots
+// that were idle in the last seconds.
+type Idle struct{}
+
+// Want returns the slots that start the surplus of the waiters within
+// patience.
+func (Idle) Want(p Pressure) int {
+	if p.Waiting == 0 || p.Room > 0 && p.Lasting < patience {
+		return 0
+	}
+	run := p.Typical
+	if run <= 0 {
+		run = guess
+	}
+	surplus := p.Waiting - p.Room*int(patience)/int(run)
+	if surplus <= 0 {
+		return 0
+	}
+	return min(max(surplus*int(run)/int(patience), 1), surplus, maxSlots)
+}
+
+// Give returns the idle slots above the reserve; nothing while own requests
+// wait.
+func (Idle) Give(s Stock) int {
+	if s.Waiting > 0 {
+		return 0
+	}
+	return min(s.Lendable, s.Slots-s.Peak) - s.Lent
+}
+
+// Keep gives a loan back that was idle for one lease, so that a short pause
+// does not cost a new ask.
+func (Idle) Keep(idle, lease clock.Millis) bool { return idle < lease }
+
+// Split divides a share: own connections, the slots that may be lent, and the
+// connections that go with each of them. Half of the connections are set
+// aside for loans at all times, so that a loan needs no connection to be
+// closed first. Nothing can be lent when the rest would not carry all slots.
+func Split(slots, conns, reservePercent int) (own, lendable, perSlot int) {
+	reserve := (slots*reservePercent + 99) / 100
+	half := conns / 2
+	lendable = min(slots-reserve, half)
+	if lendable <= 0 || conns-half < slots {
+		return conns, 0, 0
+	}
+	return conns - half, lendable, half / lendable
+}
--- a/core/state/model/event.go
+++ b/core/state/model/event.go
@@ -39,6 +39,8 @@
 	EventUnknown      EventKind = "request-outcome-unknown"
 	EventWait         EventKind = "wait"
 	EventWave         EventKind = "wave"
+	EventLent         EventKind = "slots-lent"
+	EventBorrowed     EventKind = "slots-borrowed"
 )
 
 // Event is one line of the time line. Empty fields do not apply.
--- /dev/null
+++ b/core/state/route/loan.go
@@ -0,0 +1,64 @@
+package route
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
+	"camphorridge/core/state/model"
+)
+
+// SetLent sets the number of own slots of an upstream that are lent, and
+// returns the number before.
+func (r *Router[P]) SetLent(id model.InstanceID, lent int) (before int) {
+	u := r.upstreams[id]
+	if u == nil {
+		return 0
+	}
+	before, u.Lent = u.Lent, lent
+	r.unblock(u)
+	r.forget(u)
+	return before
+}
+
+// Stocks appends the upstreams of a pool that are not ejected, as a lender
+// sees them.
+func (r *Router[P]) Stocks(now clock.Millis, p model.Pool, waiting int, buf []lend.Stock) []lend.Stock {
+	g := r.pools[p]
+	if g == nil {
+		return buf
+	}
+	for i := range g.members {
+		// Each call starts with another upstream, so that loans spread.
+		u := g.members[(i+int(g.turn%uint64(len(g.members))))%len(g.members)]
+		if !u.Ejected(now) {
+			buf = append(buf, u.stock(waiting))
+		}
+	}
+	return buf
+}
+
+// Stock returns a routable upstream as a lender sees it.
+func (r *Router[P]) Stock(id model.InstanceID, waiting func(model.Pool) int) (lend.Stock, bool) {
+	u := r.upstreams[id]
+	if u == nil || u.Pool == "" {
+		return lend.Stock{}, false
+	}
+	return u.stock(waiting(u.Pool)), true
+}
+
+func (u *Upstream) stock(waiting int) lend.Stock {
+	return lend.Stock{
+		Loan: lend.Loan{
+			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
+			Incarnation: u.Incarnation, HealthPath: u.HealthPath, Slots: u.Slots,
+		},
+		Lendable: u.Lendable, PerSlot: u.PerSlot, Peak: max(u.Peak, u.Past), Running: u.Running,
+		Lent: u.Lent, Waiting: waiting,
+	}
+}
+
+// Roll begins a new time span for the peaks of all upstreams.
+func (r *Router[P]) Roll() {
+	for _, u := range r.upstreams {
+		u.Past, u.Peak = u.Peak, u.Running
+	}
+}
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -3,6 +3,7 @@
 import (
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 )
 
@@ -17,6 +18,10 @@
 	// Rank and Count are the position among the entry processes of the zone
 	// and their number.
 	Rank, Count int
+	// Lending sets a part of each share aside for loans; ReservePercent of the
+	// slots are never lent.
+	Lending        bool
+	ReservePercent int
 }
 
 // Router chooses upstreams. It is not safe for use by several goroutines.
@@ -28,7 +33,10 @@
 	// blocked holds the upstreams with requests of earlier generations.
 	blocked map[model.InstanceID]*Upstream
 	// Version is the version of the table in force.
-	Version    model.Version
+	Version model.Version
+	// Quarantine says that the lendable slots may be in use under loans of an
+	// earlier run of this process.
+	Quarantine bool
 	candidates []Candidate
 	// ejected lists the upstreams whose return was not reported yet.
 	ejected []*Upstream
@@ -113,7 +121,7 @@
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
 	u.Old = u.Running
-	if u.Old > 0 {
+	if u.Old > 0 || u.Lent > 0 {
 		if u.Blocked == 0 {
 			u.Blocked = v
 		}
@@ -124,6 +132,9 @@
 // refresh derives the routable state of an upstream from its inputs.
 func (r *Router[P]) refresh(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
+	if r.cfg.Lending {
+		u.Connections, u.Lendable, u.PerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
+	}
 	u.Address, u.Incarnation, u.HealthPath = u.member.Address, u.member.Incarnation, u.member.HealthPath
 	pool := u.routable(r.cfg.Zone)
 	if pool != u.Pool {
@@ -179,7 +190,7 @@
 // forget drops an upstream that neither table nor roster names and that has
 // nothing in flight.
 func (r *Router[P]) forget(u *Upstream) {
-	if !u.known && !u.live && u.Running == 0 {
+	if !u.known && !u.live && u.Running == 0 && u.Lent == 0 {
 		delete(r.upstreams, u.Instance)
 	}
 }
@@ -203,7 +214,7 @@
 	var last *Upstream
 	warm := g.warm(now)
 	for _, u := range g.members {
-		n := room(now, u, warm)
+		n := r.room(now, u, warm)
 		if u.Running >= n {
 			continue
 		}
@@ -221,6 +232,7 @@
 		return Held{}, false
 	}
 	last.Running++
+	last.Peak = max(last.Peak, last.Running)
 	return Held{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
 }
 
@@ -257,15 +269,19 @@
 }
 
 // room returns the number of requests an upstream may run now.
-func room(now clock.Millis, u *Upstream, warm bool) int {
+func (r *Router[P]) room(now clock.Millis, u *Upstream, warm bool) int {
 	if u.Ejected(now) {
 		return 0
 	}
+	slots := u.Slots - u.Lent
+	if r.Quarantine {
+		slots = u.Slots - max(u.Lendable, u.Lent)
+	}
 	age := max(now-u.Since, 0)
-	if !warm || age >= SlowStart || u.Slots == 0 {
-		return u.Slots
+	if !warm || age >= SlowStart || slots <= 0 {
+		return max(slots, 0)
 	}
-	return max(1, int(clock.Millis(u.Slots)*age/SlowStart))
+	return max(1, int(clock.Millis(slots)*age/SlowStart))
 }
 
 // Room returns the number of requests that the pool may run at once now.
@@ -276,7 +292,7 @@
 	}
 	n, warm := 0, g.warm(now)
 	for _, u := range g.members {
-		n += room(now, u, warm)
+		n += r.room(now, u, warm)
 	}
 	return n
 }
@@ -302,10 +318,7 @@
 	u.Running--
 	if h.Generation != u.Generation && u.Old > 0 {
 		u.Old--
-		if u.Old == 0 {
-			u.Blocked = 0
-			delete(r.blocked, u.Instance)
-		}
+		r.unblock(u)
 	}
 	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
 		ejected = r.learn(now, u, o)
@@ -314,11 +327,23 @@
 	return ejected
 }
 
+// unblock ends the hold-up of a release once nothing uses the instance.
+func (r *Router[P]) unblock(u *Upstream) {
+	if u.Old == 0 && u.Lent == 0 {
+		u.Blocked = 0
+		delete(r.blocked, u.Instance)
+	}
+}
+
 // Drained returns the highest version of the table such that no request in
-// flight uses an instance released at or below it. When an instance was routable
+// flight and no loan uses an instance released at or below it; 0 in quarantine.
+// When an instance was routable
 // again before all earlier requests had ended, which control never allows, the
 // result can be lower than that.
 func (r *Router[P]) Drained() model.Version {
+	if r.Quarantine {
+		return 0
+	}
 	v := r.Version
 	for _, u := range r.blocked {
 		v = min(v, u.Blocked-1)
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -38,14 +38,25 @@
 	// Slots and Connections are this process's share.
 	Slots       int
 	Connections int
+	// Lendable is the part of Slots that may be lent, and PerSlot the number of
+	// connections, apart from Connections, that go with each of them. Both are 0
+	// while lending is off.
+	Lendable int
+	PerSlot  int
+	// Lent is the number of own slots that others may use; it holds up a
+	// release like requests in flight.
+	Lent int
+	// Peak is the largest number of requests in flight since the last Roll, and
+	// Past that of the time before it.
+	Peak, Past int
 	// Running is the number of requests in flight, of all generations.
 	Running int
 	// Generation grows each time the instance is released from a pool.
 	Generation uint32
 	// Old is the number of requests in flight of earlier generations.
 	Old int
-	// Blocked is the table version of the release that Old requests hold up;
-	// 0 when Old is 0.
+	// Blocked is the table version of the release that Old requests or Lent
+	// slots hold up; 0 when both are 0.
 	Blocked model.Version
 	// Since is the time at which the upstream became routable.
 	Since clock.Millis
--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -33,6 +33,9 @@
 		d.add("control", "member-"+family, "", "no control member", fmt.Sprintf("1 to %d members", maxControls))
 	}
 	d.checkListen(e.Listen)
+	if n := e.Lending.LeaseMillis; n > 0 && n < shortestLoan && d.sound("lending/lease-ms") {
+		d.add("lending", "lease-ms", fmt.Sprint(n), "too short to be renewed in time", fmt.Sprintf("0, or at least %d", shortestLoan))
+	}
 	l := e.Limits
 	d.atMost("limits", "default-timeout-ms", l.DefaultTimeoutMillis, "max-timeout-ms", l.MaxTimeoutMillis)
 	d.atMost("limits", "body-read-ms", l.BodyReadMillis, "max-timeout-ms", l.MaxTimeoutMillis)
@@ -42,6 +45,9 @@
 	}
 }
 
+// shortestLoan leaves time for a renewal that is repeated once.
+const shortestLoan clock.Millis = 200
+
 func checkControl(d *decoder[Control]) {
 	c := &d.value
 	d.checkMembers(c.Controls, c.Entries)
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -32,6 +32,13 @@
 	DrainMillis clock.Millis
 }
 
+// Lending holds how slots are lent between entry processes.
+type Lending struct {
+	// LeaseMillis is 0 to turn lending off, and else at least shortestLoan.
+	LeaseMillis    clock.Millis
+	ReservePercent int
+}
+
 // ControlLimits holds the bounds of a control process.
 type ControlLimits struct {
 	LeaseMillis clock.Millis
@@ -77,6 +84,7 @@
 	// name; it contains this process.
 	Entries []model.Member
 	Limits  Limits
+	Lending Lending
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// EventCapacity is the number of time-line events kept.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -26,6 +26,10 @@
 		listenKeys(func(e *Entry) *Listen { return &e.Listen }),
 		memberKeys(func(e *Entry) *[]model.Member { return &e.Controls }, func(e *Entry) *[]model.Member { return &e.Entries }),
 		limitKeys(),
+		[]Key[Entry]{
+			intKey("lending", "lease-ms", "ms", "2000", 0, clock.Minute, "lease of slots that one entry process lends to another; 0 turns lending off, and else at least 200; equal in all processes; lower it, or turn it off, in a process only while none of its slots are lent", func(e *Entry) *clock.Millis { return &e.Lending.LeaseMillis }),
+			intKey("lending", "reserve-percent", "%", "25", 0, 100, "part of the own slots of each upstream that is never lent, rounded up", func(e *Entry) *int { return &e.Lending.ReservePercent }),
+		},
 		commonKeys(func(e *Entry) *string { return &e.LogLevel }, func(e *Entry) *int { return &e.EventCapacity }),
 	)
 }
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -11,6 +11,7 @@
 	"camphorridge/core/coord/entry"
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/route"
 	"camphorridge/io/trans/uplink"
@@ -18,7 +19,7 @@
 	"gotest.tools/v3/assert"
 )
 
-type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded]
+type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
 
 // claims is an in-memory Claimer.
 type claims struct {
@@ -74,7 +75,7 @@
 	clk := clock.Real()
 	self := model.Member{Name: "e1", Zone: "z1"}
 	g := &rig{claims: &claims{held: map[model.ClaimKey]model.ClaimOutcome{}}}
-	g.gate = entry.New(entry.Settings{Self: self.Name, Zone: self.Zone, Entries: []model.Member{self}}, clk, admit.Fair{}, route.LeastLoaded{})
+	g.gate = entry.New(entry.Settings{Self: self.Name, Zone: self.Zone, Entries: []model.Member{self}}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	g.link = uplink.New(uplink.Defaults(), clk)
 	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
 	ended := make(chan struct{}, 2)
--- a/io/trans/logs/logs.go
+++ b/io/trans/logs/logs.go
@@ -86,6 +86,8 @@
 	model.EventConflict:     log.InfoLevel,
 	model.EventInstance:     log.InfoLevel,
 	model.EventWave:         log.InfoLevel,
+	model.EventLent:         log.DebugLevel,
+	model.EventBorrowed:     log.InfoLevel,
 }
 
 // Event logs an event of the time line when it is a state change.
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -9,6 +9,7 @@
 
 	"camphorridge/core/coord/follow"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
 	"camphorridge/io/proto/codec"
@@ -137,6 +138,43 @@
 	return nil
 }
 
+// Lend asks an entry process for loans of slots.
+func (c *Client) Lend(ctx context.Context, m model.Member, a lend.Ask) (lend.Answer, error) {
+	req := codec.AskToWire(a)
+	req.Stamp = c.stamp()
+	resp, err := c.remote(m.Address).neighbour.Lend(ctx, req)
+	if err != nil {
+		return lend.Answer{}, c.failed("ask "+string(m.Name)+" for loans", err)
+	}
+	c.observe(resp.GetStamp())
+	return codec.AnswerFromWire(resp)
+}
+
+// Return gives loans back to an entry process.
+func (c *Client) Return(ctx context.Context, m model.Member, r lend.Return) error {
+	req := codec.ReturnToWire(r)
+	req.Stamp = c.stamp()
+	resp, err := c.remote(m.Address).neighbour.Return(ctx, req)
+	if err != nil {
+		return c.failed("return loans to "+string(m.Name), err)
+	}
+	c.observe(resp.GetStamp())
+	return nil
+}
+
+// Recall asks an entry process whether it still holds loans of an earlier run
+// of this one, and ends them.
+func (c *Client) Recall(ctx context.Context, m model.Member, r lend.Recall) (clear bool, err error) {
+	req := codec.RecallToWire(r)
+	req.Stamp = c.stamp()
+	resp, err := c.remote(m.Address).neighbour.Recall(ctx, req)
+	if err != nil {
+		return false, c.failed("recall loans from "+string(m.Name), err)
+	}
+	c.observe(resp.GetStamp())
+	return resp.GetClear(), nil
+}
+
 // step sends consensus messages to a member.
 func (c *Client) step(ctx context.Context, address string, all []raft.Message) error {
 	req := &wirepb.StepRequest{Stamp: c.stamp()}
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -5,6 +5,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 	"camphorridge/io/proto/codec"
 	"camphorridge/io/proto/wirepb"
@@ -18,10 +19,19 @@
 	TableAfter func(from model.Version) (d model.Delta, ready bool)
 	// Hear takes one announcement; its refusal is not passed back, as the
 	// upstream hears it from the process that it announced itself to.
-	Hear   func(a model.Announcement)
+	Hear func(a model.Announcement)
+	// Lender grants and takes back loans of slots.
+	Lender Lender
 	Stamps Stamps
 }
 
+// Lender is the part of an entry process that holds the ledger of loans.
+type Lender interface {
+	Lend(a lend.Ask) lend.Answer
+	TakeBack(r lend.Return)
+	Recalled(r lend.Recall) (clear bool)
+}
+
 // Table answers with the process's table.
 func (s *NeighbourServer) Table(_ context.Context, r *wirepb.TableRequest) (*wirepb.WatchResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
@@ -47,3 +57,29 @@
 	}
 	return &wirepb.AnnounceResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
+
+// Lend answers an ask for loans.
+func (s *NeighbourServer) Lend(_ context.Context, r *wirepb.LendRequest) (*wirepb.LendResponse, error) {
+	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	a, err := codec.AskFromWire(r)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("ask", err.Error())
+	}
+	w := codec.AnswerToWire(s.Lender.Lend(a))
+	w.Stamp = codec.StampToWire(s.Stamps.Next())
+	return w, nil
+}
+
+// Return takes loans back.
+func (s *NeighbourServer) Return(_ context.Context, r *wirepb.ReturnRequest) (*wirepb.ReturnResponse, error) {
+	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	s.Lender.TakeBack(codec.ReturnFromWire(r))
+	return &wirepb.ReturnResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
+}
+
+// Recall ends the loans of an earlier run of a lender.
+func (s *NeighbourServer) Recall(_ context.Context, r *wirepb.RecallRequest) (*wirepb.RecallResponse, error) {
+	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	clear := s.Lender.Recalled(codec.RecallFromWire(r))
+	return &wirepb.RecallResponse{Clear: clear, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
+}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -13,10 +13,12 @@
 	"camphorridge/core/coord/claim"
 	"camphorridge/core/coord/entry"
 	"camphorridge/core/coord/follow"
+	"camphorridge/core/coord/lender"
 	"camphorridge/core/coord/record"
 	"camphorridge/core/coord/roster"
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/member"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/ring"
@@ -32,13 +34,17 @@
 // eventRing holds the dispatcher's events on their way to the recorder.
 const eventRing = 1024
 
+// orderRing holds the messages about loans on their way out; there are at most
+// two for each entry process.
+const orderRing = 1024
+
 // lameDuck is the time between the first sign of a stop, a failing readiness
 // check and responses with "Connection: close", and the close of the listener.
 // The balancer and callers with open connections go elsewhere meanwhile.
 const lameDuck = clock.Second
 
 // dispatcher is the dispatcher with the policies of the product.
-type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded]
+type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
 
 // Entry is a running entry process.
 type Entry struct {
@@ -52,6 +58,7 @@
 	reporter *follow.Reporter[*peers.Leader]
 	roster   *roster.Roster[*peers.Client]
 	claimer  *claim.Claimer[*peers.Leader]
+	lender   *lender.Lender[*peers.Client, *dispatcher, *uplink.Link]
 	link     *uplink.Link
 	front    *front.Front[*dispatcher, *claim.Claimer[*peers.Leader]]
 	events   *ring.Ring[model.Event]
@@ -84,16 +91,24 @@
 	e.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	e.client = peers.NewClient(cfg.Name, e.recorder)
 	leader := peers.NewLeader(e.client, cfg.Controls, clk)
+	incarnation := uint64(clk.Now())
+	orders := ring.New[lend.Order](orderRing)
 	e.dispatch = entry.New(entry.Settings{
 		Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries,
-		Ring: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events,
-	}, clk, admit.Fair{}, route.LeastLoaded{})
+		Ring: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events, Orders: orders,
+		Lending: lend.Settings{
+			Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries, Incarnation: incarnation,
+			Lease: cfg.Lending.LeaseMillis, Hold: cfg.Limits.MaxTimeoutMillis,
+			ReservePercent: cfg.Lending.ReservePercent,
+		},
+	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
-	e.reporter = follow.NewReporter(self, uint64(clk.Now()), leader, e.status, clk)
+	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, clk)
 	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
+	e.lender = lender.New(orders, cfg.Entries, e.client, e.dispatch, e.link, clk)
 	e.front = front.New(frontSettings(cfg), clk, e.dispatch, e.claimer, e.link)
 	return e
 }
@@ -180,6 +195,7 @@
 	add(g, e.reporter)
 	add(g, e.roster)
 	add(g, e.claimer)
+	add(g, e.lender)
 	add(g, e.link)
 	add(g, e.dispatch)
 	add(g, newForwarder(e.events, e.record))
@@ -223,6 +239,7 @@
 			// was overtaken by a newer one.
 			_ = e.dispatch.Hear(member.Heard{Announcement: a})
 		},
+		Lender: e.dispatch,
 		Stamps: e.recorder,
 	}
 }
@@ -274,6 +291,13 @@
 		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
 		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
 		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
+		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Asked }},
+		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
+		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Given }},
+		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Taken }},
+		{"loans-expired", func() int64 { return e.dispatch.Snapshot().Loans.Expired }},
+		{"loans-requests", func() int64 { return e.dispatch.Snapshot().Loans.Used }},
+		{"loans-not-sent", e.lender.Refused},
 		{"connections-opened", func() int64 { return e.link.Counts().Opened }},
 		{"connections-closed", func() int64 { return e.link.Counts().Closed }},
 		{"connections-silent", func() int64 { return e.link.Counts().Silent }},
@@ -285,6 +309,8 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	counters(r, usage(e.client.Traffic))
+	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.Lent })
+	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.Held })
 	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
 	return r
 }
--- a/io/trans/uplink/link.go
+++ b/io/trans/uplink/link.go
@@ -81,6 +81,9 @@
 		}
 		return nil, Result{NotRun: true, Kind: kind}, err
 	}
+	if up.Until != 0 {
+		c.until(func() bool { return l.clk.Now() >= up.Until })
+	}
 	res := Result{Reused: c.requests > 0}
 	c.requests++
 	resp, err := c.tr.RoundTrip(outgoing(ctx, up, req))
@@ -185,6 +188,26 @@
 	return out
 }
 
+// Close closes the idle connections of an upstream for which no request is
+// under way, and reports whether none is left open.
+func (l *Link) Close(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.pools[name]
+	if p == nil {
+		return true
+	}
+	p.closeIdle(l.clk.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open > 0 {
+		return false
+	}
+	p.dropped = true
+	delete(l.pools, name)
+	return true
+}
+
 // Counts returns the counters.
 func (l *Link) Counts() Counts {
 	c := &l.counts
--- a/io/trans/uplink/seal.go
+++ b/io/trans/uplink/seal.go
@@ -24,6 +24,9 @@
 	written bool
 	// shut says that nothing may be written any more.
 	shut bool
+	// late reports whether the request may no longer be written; nil for no
+	// such time.
+	late func() bool
 	// early says that bytes came before the current request was written.
 	early bool
 	// reading says that net/http waits for bytes. Its buffer is empty then, so
@@ -47,10 +50,17 @@
 	if s.shut || s.gone || s.early {
 		return false
 	}
-	s.written, s.done = false, false
+	s.written, s.done, s.late = false, false, nil
 	return true
 }
 
+// until forbids the writes of the current request once late reports true.
+func (s *sealed) until(late func() bool) {
+	s.mu.Lock()
+	s.late = late
+	s.mu.Unlock()
+}
+
 // finish notes that the response was read to its end.
 func (s *sealed) finish() {
 	s.mu.Lock()
@@ -74,6 +84,9 @@
 // Write implements net.Conn.
 func (s *sealed) Write(p []byte) (int, error) {
 	s.mu.Lock()
+	if s.late != nil && s.late() {
+		s.shut = true
+	}
 	if s.shut {
 		s.mu.Unlock()
 		return 0, errSealed
--- a/io/trans/uplink/types.go
+++ b/io/trans/uplink/types.go
@@ -98,6 +98,9 @@
 	Connections int
 	// HealthPath is asked for by probes; empty turns them off.
 	HealthPath string
+	// Until is the time from which no byte of the request is written; 0 for no
+	// such time.
+	Until clock.Millis
 }
 
 // Settings of the connections.
