Test the parts of lending

Cause: the duty, the policies and the dispatcher's part were tested only through the whole. Change: short tests of each, with a fake for the duty.

--- /dev/null
+++ b/core/coord/entry/loans_test.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"testing"
+
+	"camphorridge/core/state/admit"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+	"camphorridge/core/state/route"
+
+	"gotest.tools/v3/assert"
+)
+
+// startLending runs a dispatcher of zone z1 or z2 with one upstream in z1.
+func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Ring[lend.Order]) {
+	t.Helper()
+	all := []model.Member{{Name: "e1", Zone: "z1"}, {Name: "e2", Zone: "z2"}}
+	orders := ring.New[lend.Order](16)
+	d := New(Settings{
+		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, Orders: orders,
+		Lending: lend.Settings{
+			Self: self, Zone: zone, Entries: all, Incarnation: 1, Lease: clock.Minute, Hold: clock.Minute, ReservePercent: 25,
+		},
+	}, clock.Real(), admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	ended := make(chan struct{})
+	go func() { _ = d.Run(); close(ended) }()
+	t.Cleanup(func() { d.Stop(); <-ended })
+	i := instance("ia", 4)
+	i.Connections = 8
+	assert.NilError(t, d.Table(model.Delta{To: 5, Full: true, Contracts: []model.Contract{contract("acme", 20, 20)}, Instances: []model.Instance{i}}))
+	return d, orders
+}
+
+func nextOrder(o *ring.Ring[lend.Order], kind lend.OrderKind) lend.Order {
+	for {
+		if next := <-o.C(); next.Kind == kind {
+			return next
+		}
+	}
+}
+
+// Guards against a lender that uses lent slots or confirms a release while
+// they are lent, or that does either before its earlier run's loans are over.
+func TestLenderKeepsLentSlots(t *testing.T) {
+	d, orders := startLending(t, "e1", "z1")
+	a := announcement("ia", 4)
+	a.Connections = 8
+	assert.NilError(t, d.Announce(a))
+	ask := lend.Ask{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
+	assert.Equal(t, len(d.Lend(ask).Loans), 0)
+	assert.Equal(t, d.Drained(), model.Version(0))
+	nextOrder(orders, lend.OrderRecall)
+	d.Acknowledged("e2")
+	assert.Equal(t, d.Drained(), model.Version(5))
+	g := must(t, d)
+	assert.Equal(t, g.Upstream.Connections, 4)
+	loans := d.Lend(ask).Loans
+	assert.Equal(t, len(loans), 1)
+	assert.Equal(t, loans[0].Slots, 3)
+	assert.Equal(t, d.Snapshot().Upstreams[0].Lent, 3)
+	d.Done(g.Ticket, OutcomeOK, 1)
+	i := instance("ia", 4)
+	i.Phase, i.Version = model.PhaseReleasing, 6
+	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
+	assert.Equal(t, d.Drained(), model.Version(5))
+	renew := lend.Ask{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
+	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
+	d.TakeBack(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
+	until(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
+}
+
+// Guards against a process without upstreams that refuses while it may
+// borrow, and against a loan that is used once its instance is released.
+func TestBorrowerServesOnALoan(t *testing.T) {
+	d, orders := startLending(t, "e2", "z2")
+	got := make(chan Grant, 1)
+	go func() { got <- must(t, d) }()
+	o := nextOrder(orders, lend.OrderAsk)
+	assert.Equal(t, o.To, model.Process("e1"))
+	d.Answered(o, clock.Real().Now(), lend.Answer{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
+		{ID: lend.ID(o.Ask.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
+	}}, true)
+	g := <-got
+	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
+	assert.Assert(t, g.Upstream.Loan != "" && g.Upstream.Until == 1<<60)
+	i := instance("ia", 4)
+	i.Phase, i.Version = model.PhaseReleasing, 6
+	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
+	_, f := try(t.Context(), d)
+	assert.Equal(t, f.Kind, RefusalCapacity)
+	d.Done(g.Ticket, OutcomeOK, 1)
+	assert.DeepEqual(t, nextOrder(orders, lend.OrderReturn).Close, []string{g.Upstream.Loan})
+}
--- /dev/null
+++ b/core/coord/lender/lender_test.go
@@ -0,0 +1,92 @@
+package lender
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+)
+
+// fake stands in for the other processes, the ledger and the connections.
+type fake struct {
+	told   chan string
+	silent chan struct{}
+	open   int
+}
+
+func (f *fake) Lend(ctx context.Context, to model.Member, a lend.Ask) (lend.Answer, error) {
+	if to.Name == "silent" {
+		close(f.silent)
+		<-ctx.Done()
+		return lend.Answer{}, ctx.Err()
+	}
+	return lend.Answer{Incarnation: a.Number}, nil
+}
+
+func (f *fake) Return(context.Context, model.Member, lend.Return) error { return nil }
+
+func (f *fake) Recall(_ context.Context, to model.Member, _ lend.Recall) (bool, error) {
+	if to.Name == "gone" {
+		return false, errors.New("gone")
+	}
+	return true, nil
+}
+
+func (f *fake) Close(string) bool {
+	f.open--
+	return f.open <= 0
+}
+
+func (f *fake) Answered(o lend.Order, asked clock.Millis, a lend.Answer, ok bool) {
+	switch {
+	case !ok:
+		f.told <- string(o.To) + " unanswered"
+	case asked > 0 && a.Incarnation == o.Ask.Number:
+		f.told <- string(o.To) + " answered"
+	}
+}
+
+func (f *fake) Returned(o lend.Order, ok bool) {
+	if ok && f.open <= 0 {
+		f.told <- string(o.To) + " returned"
+	} else if !ok {
+		f.told <- string(o.To) + " not returned"
+	}
+}
+
+func (f *fake) Acknowledged(from model.Process) { f.told <- string(from) + " acknowledged" }
+
+// Guards against a silent process that holds up the others, against a return
+// before the connections are closed, and against orders whose end is not told.
+func TestOrders(t *testing.T) {
+	in := ring.New[lend.Order](8)
+	f := &fake{told: make(chan string, 8), silent: make(chan struct{}), open: 3}
+	d := New(in, []model.Member{{Name: "silent"}, {Name: "a"}, {Name: "gone"}}, f, f, f, clock.Real())
+	ended := make(chan struct{})
+	go func() { _ = d.Run(); close(ended) }()
+	in.Put(lend.Order{Kind: lend.OrderAsk, To: "silent"})
+	<-f.silent
+	next := func(o lend.Order, want string) {
+		t.Helper()
+		in.Put(o)
+		for got := ""; got != want; {
+			got = <-f.told
+			assert.Assert(t, got == want || got == "silent unanswered", "%s", got)
+		}
+	}
+	next(lend.Order{Kind: lend.OrderAsk, To: "a", Ask: lend.Ask{Number: 4}}, "a answered")
+	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a returned")
+	f.open = closeTries + 1
+	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
+	next(lend.Order{Kind: lend.OrderAsk, To: "unknown"}, "unknown unanswered")
+	in.Put(lend.Order{Kind: lend.OrderRecall, To: "gone"})
+	next(lend.Order{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
+	d.Stop()
+	<-ended
+}
