--- a/io/trans/front/bench_test.go
+++ b/io/trans/front/bench_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 
 	"gotest.tools/v3/assert"
@@ -135,3 +136,32 @@
 	}
 	b.ReportMetric(mid(sides[2].rates)/mid(sides[1].rates), "front/proxy")
 }
+
+// BenchmarkUnusedLending compares the request path with lending off, and on
+// without another process to lend from. Both take turns, and medians are
+// reported, as the machine's speed varies.
+func BenchmarkUnusedLending(b *testing.B) {
+	answer := make([]byte, 256)
+	up := upstream(b, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write(answer)
+	})
+	var sides [2][]*caller
+	var rates [2][]float64
+	for i, lease := range []clock.Millis{0, 2 * clock.Second} {
+		g := newLendingRig(b, lease, callers/2, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
+		for range callers {
+			sides[i] = append(sides[i], dialCaller(b, g.url[len("http://"):], HeaderCustomer+": acme\r\n"))
+		}
+		burst(b, sides[i], 5000)
+	}
+	b.ResetTimer()
+	for range b.N {
+		for i, name := range []string{"off", "on"} {
+			rate, _ := burst(b, sides[i], 10_000)
+			rates[i] = append(rates[i], rate)
+			slices.Sort(rates[i])
+			b.ReportMetric(rates[i][len(rates[i])/2], name+"-requests/s")
+		}
+	}
+}
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -13,6 +13,7 @@
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
 	"camphorridge/core/state/route"
 	"camphorridge/io/trans/uplink"
 
@@ -71,11 +72,21 @@
 // newRig starts a front end whose pool svc has the given upstream addresses,
 // with the given slots each.
 func newRig(t testing.TB, slots int, contracts []model.Contract, addresses ...string) *rig {
+	t.Helper()
+	return newLendingRig(t, 0, slots, contracts, addresses...)
+}
+
+// newLendingRig is newRig with a lease of loans; 0 for no lending.
+func newLendingRig(t testing.TB, lease clock.Millis, slots int, contracts []model.Contract, addresses ...string) *rig {
 	t.Helper()
 	clk := clock.Real()
 	self := model.Member{Name: "e1", Zone: "z1"}
 	g := &rig{claims: &claims{held: map[model.ClaimKey]model.ClaimOutcome{}}}
-	g.gate = entry.New(entry.Settings{Self: self.Name, Zone: self.Zone, Entries: []model.Member{self}}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	g.gate = entry.New(entry.Settings{
+		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
+		Lending: lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, Hold: clock.Minute, ReservePercent: 25},
+		Orders:  ring.New[lend.Order](16),
+	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	g.link = uplink.New(uplink.Defaults(), clk)
 	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
 	ended := make(chan struct{}, 2)
--- a/io/trans/uplink/link_test.go
+++ b/io/trans/uplink/link_test.go
@@ -273,3 +273,23 @@
 	assert.Assert(t, res.Kind == KindCancelled && !res.NotRun)
 	assert.Equal(t, l.Open("ia"), 1)
 }
+
+// Guards against a request that is written after the time of its loan, and
+// against connections of a loan that stay open after its return.
+func TestEndOfALoan(t *testing.T) {
+	u := newRaw(t, answers(func(_ int, c net.Conn, r *http.Request) bool { return ok(c, r) }))
+	l := newLink(t)
+	up := u.upstream()
+	up.Until = clock.Real().Now() + clock.Hour
+	_, _, err := call(t, l, up, request(t, "POST", "<a>", "x"), long)
+	assert.NilError(t, err)
+	up.Until = clock.Real().Now()
+	_, res, err := call(t, l, up, request(t, "POST", "<late>", "x"), long)
+	assert.Assert(t, err != nil && res.NotRun, "%+v", res)
+	assert.Equal(t, u.seen("<late>"), 0)
+	up.Until = 0
+	_, _, err = call(t, l, up, request(t, "POST", "<b>", "x"), long)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return until(l.Close("ia")) })
+	assert.Equal(t, l.Open("ia"), 0)
+}
