--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -5,17 +5,18 @@
 	"slices"
 
 	"camphorridge/core/state/admit"
+	"camphorridge/core/state/lend"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/route"
 )
 
 // Demand returns what is asked of each pool at this moment, in order of the
 // pools. Its cost follows the number of upstreams and of the customers' pools.
-func (d *Dispatcher[P, Q]) Demand() []model.PoolDemand {
+func (d *Dispatcher[P, Q, L]) Demand() []model.PoolDemand {
 	return d.call(&command{op: opDemand}).demand
 }
 
-func (d *Dispatcher[P, Q]) demand() []model.PoolDemand {
+func (d *Dispatcher[P, Q, L]) demand() []model.PoolDemand {
 	byPool := map[model.Pool]*model.PoolDemand{}
 	of := func(p model.Pool) *model.PoolDemand {
 		x := byPool[p]
@@ -30,6 +31,11 @@
 			of(u.Pool).Running += u.Running
 		}
 	})
+	d.loans.Each(func(h *lend.Held) {
+		if h.Running > 0 {
+			of(h.Pool).Running += h.Running
+		}
+	})
 	d.gate.Each(func(a *admit.Account[*ask]) {
 		if a.Waiting > 0 {
 			a.EachWaiting(func(p model.Pool, n int) { of(p).Waiting += n })
--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -77,4 +77,4 @@
 }
 
 // Felt returns what callers felt since the last call.
-func (d *Dispatcher[P, Q]) Felt() model.Felt { return d.call(&command{op: opFelt}).felt }
+func (d *Dispatcher[P, Q, L]) Felt() model.Felt { return d.call(&command{op: opFelt}).felt }
--- a/core/state/model/event.go
+++ b/core/state/model/event.go
@@ -41,6 +41,8 @@
 	EventWave         EventKind = "wave"
 	EventMoved        EventKind = "instance-moved"
 	EventMaintained   EventKind = "instance-maintained"
+	EventLent         EventKind = "slots-lent"
+	EventBorrowed     EventKind = "slots-borrowed"
 )
 
 // Event is one line of the time line. Empty fields do not apply.
--- a/io/trans/logs/logs.go
+++ b/io/trans/logs/logs.go
@@ -88,6 +88,8 @@
 	model.EventWave:         log.InfoLevel,
 	model.EventMoved:        log.InfoLevel,
 	model.EventMaintained:   log.InfoLevel,
+	model.EventLent:         log.DebugLevel,
+	model.EventBorrowed:     log.InfoLevel,
 }
 
 // Event logs an event of the time line when it is a state change.
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -59,6 +59,8 @@
 	hosts    int
 	controls []*process
 	entries  []*process
+	// concurrency is that of the contracts; 0 derives it from the instances.
+	concurrency int
 	// relays holds the relay from a zone to a process of another zone.
 	relays   map[string]*relay
 	platform map[string]*stand.Platform
@@ -92,9 +94,9 @@
 	// upstreams holds the pools of each zone's instances.
 	upstreams map[string][]string
 	delay     time.Duration
-	// extra is appended to the settings of all processes, and control to those
-	// of the control processes alone.
-	extra, control string
+	// extra is appended to the settings of all processes, and control and entry
+	// to those of the processes of one role.
+	extra, control, entry string
 }
 
 func threeZones(pools ...string) layout {
@@ -124,8 +126,11 @@
 	}
 	for _, p := range s.all() {
 		extra := l.extra
-		if p.role == "control" {
+		switch p.role {
+		case "control":
 			extra += l.control
+		case "entry":
+			extra += l.entry
 		}
 		s.writeSettings(p, extra)
 	}
@@ -357,7 +362,7 @@
 func (s *system) contract(customer string, instances int, pools ...string) {
 	s.t.Helper()
 	var b strings.Builder
-	fmt.Fprintf(&b, "[contract]\ncustomer = %s\ncovers = instance\nqueue = 700\nretry-percent = 20\n", customer)
+	fmt.Fprintf(&b, "[contract]\ncustomer = %s\ncovers = instance\nconcurrency = %d\nqueue = 700\nretry-percent = 20\n", customer, s.concurrency)
 	for _, p := range pools {
 		fmt.Fprintf(&b, "[pool %s]\ninstances = %d\n", p, instances)
 	}
