--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -55,6 +55,7 @@
 	drained  map[model.Process]model.Version
 	// frozen is an entry process that does not report.
 	frozen model.Process
+	events []model.Event
 }
 
 func newWorld(t *testing.T) *world {
@@ -69,7 +70,10 @@
 	set := maint.Settings{StepMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, RetryMillis: 1000}
 	board := NewBoard(maint.FullSpeed{}, maint.Never{}, set)
 	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000, NewSurges(plan.QueueOnly{}, plan.Weights{}, false))
-	w.mover = New("c1", entries, w.group, w.platform, board, capacity, clk.Clock(), func(model.Event) {})
+	w.mover = New("c1", entries, w.group, w.platform, board, capacity, clk.Clock(), func(e model.Event) {
+		e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
+		w.events = append(w.events, e)
+	})
 	for i := range 8 {
 		id := model.InstanceID(fmt.Sprintf("i%d", i))
 		a := model.Announcement{
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/fleet"
@@ -153,7 +155,7 @@
 
 // seeUnderWay tells the board how far the instances in maintenance are.
 func (m *Mover[G, P, C, J, A, S]) seeUnderWay() {
-	for id := range m.away {
+	for _, id := range slices.Sorted(maps.Keys(m.away)) {
 		i := m.table.Instances[id]
 		s := keep(m.seen[id], maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
 		if i.Phase == model.PhaseMaintenance {
@@ -171,7 +173,7 @@
 func (m *Mover[G, P, C, J, A, S]) finishMoves() ([]model.InstanceStep, []Wait) {
 	var steps []model.InstanceStep
 	var waits []Wait
-	for id := range m.moving {
+	for _, id := range slices.Sorted(maps.Keys(m.moving)) {
 		step, wait := FinishMove(m.table.Instances[id], m.registry, m.Entries)
 		if wait != nil {
 			waits = append(waits, *wait)
@@ -196,7 +198,7 @@
 // operators.
 func (m *Mover[G, P, C, J, A, S]) planWaits(plan maint.Plan) []Wait {
 	var waits []Wait
-	for id := range m.away {
+	for _, id := range slices.Sorted(maps.Keys(m.away)) {
 		i := m.table.Instances[id]
 		if i.Phase != model.PhaseReleasing {
 			continue
@@ -225,7 +227,7 @@
 
 // reboots asks the platform for the reboots that have not shown an effect.
 func (m *Mover[G, P, C, J, A, S]) reboots(now clock.Millis) {
-	for id := range m.away {
+	for _, id := range slices.Sorted(maps.Keys(m.away)) {
 		i := m.table.Instances[id]
 		if i.Phase != model.PhaseMaintenance || m.seen[id].Restarted {
 			continue
