--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -46,18 +46,10 @@
 
 // Mover is the duty. Its methods may be called from any goroutine.
 type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
-	// Name is the author of the mover's changes.
-	Name     string
-	Entries  []model.Member
-	group    G
-	platform P
-	board    *Board[C, J]
-	capacity *Capacity[A, S]
-	clock    clock.Clock
-	events   func(model.Event)
-	in       *ring.Ring[input]
-	done     chan struct{}
-	ended    chan struct{}
+	Parts[G, P, C, J, A, S]
+	in    *ring.Ring[input]
+	done  chan struct{}
+	ended chan struct{}
 
 	// The fields below are touched by Run alone.
 
@@ -94,11 +86,26 @@
 	Waits     []Wait
 }
 
+// Parts are what a mover works with.
+type Parts[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
+	// Name is the author of the mover's changes.
+	Name string
+	// Entries lists the configured entry processes of all zones.
+	Entries  []model.Member
+	Group    G
+	Platform P
+	Board    *Board[C, J]
+	Capacity *Capacity[A, S]
+	Clock    clock.Clock
+	// Events takes the events of the time line; it must not wait.
+	Events func(model.Event)
+}
+
 // New returns a mover; Run must be called for it to do anything.
-func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser](name string, entries []model.Member, g G, p P, b *Board[C, J], q *Capacity[A, S], c clock.Clock, events func(model.Event)) *Mover[G, P, C, J, A, S] {
+func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser](p Parts[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
 	m := &Mover[G, P, C, J, A, S]{
-		Name: name, Entries: entries, group: g, platform: p, board: b, capacity: q, clock: c, events: events,
-		in: ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
+		Parts: p,
+		in:    ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	m.reset(0)
 	return m
@@ -115,9 +122,9 @@
 	m.seen = map[model.InstanceID]maint.Seen{}
 	m.felt = newFeeling()
 	m.outage = model.Outage{}
-	m.began = m.clock.Now()
-	m.board.Reset(nil)
-	m.capacity.Reset()
+	m.began = m.Clock.Now()
+	m.Board.Reset(nil)
+	m.Capacity.Reset()
 	m.rebooted = map[model.InstanceID]clock.Millis{}
 	m.waits = nil
 }
@@ -125,7 +132,7 @@
 // followTerm starts anew when this member leads in another term than before,
 // and reports whether it leads.
 func (m *Mover[G, P, C, J, A, S]) followTerm() bool {
-	term, ok := m.group.Leads()
+	term, ok := m.Group.Leads()
 	if ok && term != m.term {
 		m.reset(term)
 	}
@@ -161,7 +168,7 @@
 // Run takes reports and makes passes until Stop.
 func (m *Mover[G, P, C, J, A, S]) Run() error {
 	defer close(m.ended)
-	tick := m.clock.After(passInterval)
+	tick := m.Clock.After(passInterval)
 	for {
 		select {
 		case i := <-m.in.C():
@@ -170,7 +177,7 @@
 			}
 		case <-tick:
 			m.pass()
-			tick = m.clock.After(passInterval)
+			tick = m.Clock.After(passInterval)
 		case <-m.done:
 			return nil
 		}
@@ -187,8 +194,8 @@
 	// before the first pass of a term must outlast the reset of that pass.
 	m.followTerm()
 	before := m.registry.Processes[i.report.Process].Drained
-	m.registry.Take(*i.report, m.clock.Now())
+	m.registry.Take(*i.report, m.Clock.Now())
 	m.felt.add(i.report.Felt)
-	m.capacity.Report(i.report.Process, i.report.Demand, m.clock.Now())
+	m.Capacity.Report(i.report.Process, i.report.Demand, m.Clock.Now())
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
 }
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -42,7 +42,10 @@
 	return nil
 }
 
-type testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread, plan.QueueOnly]
+type (
+	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread, plan.QueueOnly]
+	testParts = Parts[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread, plan.QueueOnly]
+)
 
 // world is a mover with two entry processes of one zone.
 type world struct {
@@ -70,9 +73,12 @@
 	set := maint.Settings{StepMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, RetryMillis: 1000}
 	board := NewBoard(maint.FullSpeed{}, maint.Never{}, set)
 	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000, NewSurges(plan.QueueOnly{}, plan.Weights{}, false))
-	w.mover = New("c1", entries, w.group, w.platform, board, capacity, clk.Clock(), func(e model.Event) {
-		e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
-		w.events = append(w.events, e)
+	w.mover = New(testParts{
+		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Board: board,
+		Capacity: capacity, Clock: clk.Clock(), Events: func(e model.Event) {
+			e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
+			w.events = append(w.events, e)
+		},
 	})
 	for i := range 8 {
 		id := model.InstanceID(fmt.Sprintf("i%d", i))
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -26,7 +26,7 @@
 		m.waits = nil
 		return
 	}
-	now := m.clock.Now()
+	now := m.Clock.Now()
 	if !m.refresh(now) {
 		return
 	}
@@ -41,16 +41,16 @@
 	m.seeZones(now)
 	m.seeUnderWay()
 	m.seeFelt(now)
-	plan := m.board.Pass(now)
+	plan := m.Board.Pass(now)
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
 	if now-m.began >= warmUp {
-		moves, gaps := m.capacity.Moves(m.table, now)
+		moves, gaps := m.Capacity.Moves(m.table, now)
 		steps = append(steps, moves...)
 		m.waits = append(m.waits, gaps...)
 	}
 	if !m.propose(distinct(steps)) {
-		m.capacity.Retry()
+		m.Capacity.Retry()
 	}
 	m.reboots(now)
 }
@@ -74,7 +74,7 @@
 	ctx, cancel := m.deadline()
 	defer cancel()
 	var c Changed
-	err := m.group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.outage) })
+	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.outage) })
 	if err != nil {
 		return false
 	}
@@ -88,8 +88,8 @@
 		m.outage = c.Outages[len(c.Outages)-1]
 	}
 	m.registry.Gone = c.Gone
-	m.board.Follow(c)
-	m.capacity.Follow(c.Delta)
+	m.Board.Follow(c)
+	m.Capacity.Follow(c.Delta)
 	for _, i := range c.Delta.Instances {
 		m.note(i, now)
 	}
@@ -122,7 +122,7 @@
 		return
 	}
 	m.seen[id] = s
-	m.board.See(id, s)
+	m.Board.See(id, s)
 }
 
 // seeZones counts the instances of zones that fell silent as lost, without
@@ -244,10 +244,10 @@
 	ctx, cancel := m.deadline()
 	defer cancel()
 	detail := "asked the platform for a reboot"
-	if err := m.platform.Reboot(ctx, i); err != nil {
+	if err := m.Platform.Reboot(ctx, i); err != nil {
 		detail = "the platform refused the reboot: " + err.Error()
 	}
-	m.events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
+	m.Events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
 }
 
 // kindOf is the event of a step: a finished move, a finished maintenance or
@@ -269,12 +269,12 @@
 	}
 	ctx, cancel := m.deadline()
 	defer cancel()
-	r, err := m.group.Propose(ctx, model.Change{Kind: model.ChangeInstances, Author: m.Name, Instances: steps})
+	r, err := m.Group.Propose(ctx, model.Change{Kind: model.ChangeInstances, Author: m.Name, Instances: steps})
 	if err != nil || r.Kind != model.ResultApplied {
 		return false
 	}
 	for _, s := range steps {
-		m.events(model.Event{
+		m.Events(model.Event{
 			Kind: kindOf(m.table.Instances[s.Instance.ID], s.Instance), Instance: s.Instance.ID, Pool: s.Instance.Pool, Version: r.Version,
 			Detail: s.Instance.Phase.String() + ": " + s.Instance.Reason,
 		})
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -30,6 +30,7 @@
 type (
 	disk       = store.Store[codec.Codec, store.Disk]
 	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
+	moverParts = mover.Parts[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
 	keeperDuty = boot.Keeper[*peers.Client, *seat]
 )
 
@@ -103,7 +104,10 @@
 	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
 		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
 	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{ExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
-	c.mover = mover.New(string(cfg.Name), cfg.Entries, c.member, newPlatform(cfg.Platforms), board, capacity, clk, c.record)
+	c.mover = mover.New(moverParts{
+		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
+		Board: board, Capacity: capacity, Clock: clk, Events: c.record,
+	})
 	return c, nil
 }
 
