Test connections that go silent for good, with processes

Cause: the failure was tested inside io/trans/uplink only. Change: the relay can forget its open connections while new ones work, and a stand-in upstream can announce a relay's address.

--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -69,6 +69,9 @@
 	Announce []string
 	// Delay is the time that a request takes unless its header says so.
 	Delay time.Duration
+	// Advertise is the address to announce, such as that of a relay; empty
+	// announces Address.
+	Advertise string
 	// Address is the address to listen on; empty picks a free port.
 	Address string
 }
@@ -119,6 +122,14 @@
 // Addr is the address that the upstream serves.
 func (u *Upstream) Addr() string { return u.listener.Addr().String() }
 
+// announced is the address that the upstream announces.
+func (u *Upstream) announced() string {
+	if u.Advertise != "" {
+		return u.Advertise
+	}
+	return u.Addr()
+}
+
 // Close stops at once, as a killed process does.
 func (u *Upstream) Close() {
 	u.stop()
@@ -342,7 +353,7 @@
 	}
 	return url.Values{
 		"instance": {u.Instance}, "zone": {u.Zone}, "rack": {u.Rack}, "pool": {u.pool},
-		"address": {u.Addr()}, "slots": {strconv.Itoa(u.Slots)},
+		"address": {u.announced()}, "slots": {strconv.Itoa(u.Slots)},
 		"connections": {strconv.Itoa(u.Connections)},
 		"incarnation": {strconv.FormatUint(u.incarnation, 10)},
 		"state":       {state}, "health-path": {"/health"},
--- a/tests/relay_test.go
+++ b/tests/relay_test.go
@@ -30,6 +30,8 @@
 	changed *sync.Cond
 	mode    relayMode
 	conns   map[net.Conn]bool
+	// era counts the calls of forget; connections of earlier eras are silent.
+	era int
 }
 
 func newRelay(t testing.TB, listen, target string) *relay {
@@ -63,11 +65,20 @@
 	}
 }
 
-// pass waits while the relay is silent and reports whether to go on.
-func (r *relay) pass() bool {
+// forget makes the open connections silent for good, while new ones work, as a
+// middlebox does that lost its state.
+func (r *relay) forget() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.mode == relaySilent {
+	r.era++
+}
+
+// pass waits while the relay, or a connection of the given era, is silent and
+// reports whether to go on.
+func (r *relay) pass(era int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.mode == relaySilent || (era < r.era && r.mode != relayReset) {
 		r.changed.Wait()
 	}
 	return r.mode == relayForward
@@ -86,7 +97,10 @@
 func (r *relay) serve(c net.Conn) {
 	defer r.drop(c)
 	r.keep(c)
-	if !r.pass() {
+	r.mu.Lock()
+	era := r.era
+	r.mu.Unlock()
+	if !r.pass(era) {
 		return
 	}
 	out, err := net.Dial("tcp", r.target)
@@ -96,25 +110,25 @@
 	defer r.drop(out)
 	r.keep(out)
 	done := make(chan struct{}, 2)
-	go r.copy(out, c, done)
-	go r.copy(c, out, done)
+	go r.copy(out, c, era, done)
+	go r.copy(c, out, era, done)
 	<-done
 }
 
-func (r *relay) copy(to, from net.Conn, done chan<- struct{}) {
+func (r *relay) copy(to, from net.Conn, era int, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			if !r.pass() {
+			if !r.pass(era) {
 				return
 			}
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
 			}
 		}
-		if err == io.EOF && r.pass() {
+		if err == io.EOF && r.pass(era) {
 			return
 		}
 		if err != nil {
--- /dev/null
+++ b/tests/silent_test.go
@@ -0,0 +1,54 @@
+package tests
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/internal/stand"
+)
+
+// TestSilentConnections guards against a pooled connection that went silent
+// for good and fails one request after the other, while new connections work.
+func TestSilentConnections(t *testing.T) {
+	s := start(t, layout{controls: []string{"za"}, entries: []string{"za"}})
+	address := s.host() + ":9000"
+	r := newRelay(t, s.host()+":9000", address)
+	u, err := stand.Start(stand.Options{
+		Instance: "za-i00", Zone: "za", Rack: "za-r0", Pool: "merge", Slots: 8, Connections: 64,
+		Announce: []string{s.find("e1").upstreams}, Address: address, Advertise: r.addr(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(u.Close)
+	s.wait("the instance", func() bool { return len(s.instances()) == 1 })
+	s.must("contract", "apply", s.write("acme.ini", `[contract]
+customer = acme
+covers = instance
+[pool merge]
+instances = 1
+[disruption]
+max-unavailable = 0
+budget-ms = 0
+window-ms = 3600000
+`), "--author", "test")
+	send := func(id string) int {
+		status, _, _, err := call(t, s.find("e1").callers, "merge", http.Header{
+			stand.IDHeader: {id}, "Camphorridge-Timeout-Ms": {"1000"},
+		})
+		assert.NilError(t, err)
+		return status
+	}
+	s.wait("a served request", func() bool { return send("warm") == http.StatusOK })
+	for round := range 3 {
+		r.forget()
+		failed := 0
+		for n := range 6 {
+			if send(fmt.Sprintf("round-%d-%d", round, n)) != http.StatusOK {
+				failed++
+			}
+		}
+		assert.Assert(t, failed <= 1, "%d of 6 requests failed in round %d", failed, round)
+	}
+}
