--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -36,6 +36,8 @@
 	FaultClose    = "close"
 	FaultNotRun   = "not-run"
 	FaultNoLength = "no-length"
+	// FaultCrossed answers under the identity of another request.
+	FaultCrossed = "crossed"
 )
 
 // Run is one request that a stand-in upstream ran.
@@ -245,6 +247,9 @@
 		return
 	}
 	w.Header().Set("Camphorridge-Request-Id", r.Header.Get("Camphorridge-Request-Id"))
+	if fault == FaultCrossed {
+		w.Header().Set("Camphorridge-Request-Id", "of-another-request")
+	}
 	finished = u.answer(w, r, fault, body)
 }
 
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -278,6 +278,7 @@
 		{stand.FaultClose, "unknown", http.StatusBadGateway, 1},
 		{stand.FaultHang, "unknown", http.StatusGatewayTimeout, 1},
 		{stand.FaultNoLength, "unknown", http.StatusBadGateway, 1},
+		{stand.FaultCrossed, "unknown", http.StatusBadGateway, 1},
 		{stand.FaultNotRun, "not-run", http.StatusServiceUnavailable, 0},
 		{stand.FaultFail, "ran", http.StatusInternalServerError, 1},
 	}
