Use the standard library's sort and compare, and release a lost claim once

Cause: found on reading the whole change: trail.sortedNames and limits.cmpID wrote slices.Sorted(maps.Keys) and cmp.Compare again, and a claim that ended in an error was released twice, by package claim and by the front end. Ruled out: removing the front end's release, as its interface promises it for any claimer. Change: the library's functions; the claimer leaves the release to its caller, and says so. Behaviour is the same.

--- a/core/coord/claim/claim.go
+++ b/core/coord/claim/claim.go
@@ -98,7 +98,8 @@
 }
 
 // Claim asks for the sole right to run the request with the key. An error
-// means that the request must not run.
+// means that the request must not run; the claim may still be held or be
+// granted later, and the caller releases it by Finish.
 func (c *Claimer[P]) Claim(ctx context.Context, k model.ClaimKey, token string) (model.ClaimAnswer, error) {
 	reply := make(chan answer, 1)
 	a := ask{claim: model.Claim{Key: k, Token: token, Owner: c.Owner}, reply: reply}
@@ -109,9 +110,6 @@
 	case got := <-reply:
 		return got.claim, got.err
 	case <-ctx.Done():
-		// The claim may still be granted; it is released, as the request will
-		// not run.
-		c.Finish(model.ClaimOutcome{Key: k, Token: token, NotRun: true})
 		return model.ClaimAnswer{}, &Error{Op: "claim", Kind: KindUnavailable, Err: ctx.Err()}
 	case <-c.ended:
 		return model.ClaimAnswer{}, &Error{Op: "claim", Kind: KindStopped, Err: fmt.Errorf("the process is stopping")}
@@ -172,8 +170,6 @@
 	}
 	for i, a := range batch {
 		if err != nil {
-			// The claim may have been accepted although the answer was lost.
-			c.Finish(model.ClaimOutcome{Key: a.claim.Key, Token: a.claim.Token, NotRun: true})
 			a.reply <- answer{err: &Error{Op: "claim", Kind: KindUnavailable, Err: err}}
 			continue
 		}
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"slices"
 
 	"camphorridge/core/state/clock"
@@ -78,21 +79,11 @@
 		}
 	}
 	slices.SortFunc(f.Instances, func(a, b model.Instance) int {
-		return cmpID(a.ID, b.ID)
+		return cmp.Compare(a.ID, b.ID)
 	})
 	return f
 }
 
-func cmpID[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Set is every limit of one customer.
 type Set struct {
 	Customer       model.Customer
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -177,7 +178,7 @@
 	for name, n := range count {
 		sizes = append(sizes, domainSize{name, n})
 	}
-	slices.SortFunc(sizes, func(a, b domainSize) int { return cmpID(a.name, b.name) })
+	slices.SortFunc(sizes, func(a, b domainSize) int { return cmp.Compare(a.name, b.name) })
 	return sizes
 }
 
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -1,6 +1,7 @@
 package trail
 
 import (
+	"maps"
 	"slices"
 
 	"camphorridge/core/state/clock"
@@ -63,7 +64,7 @@
 		}
 	}
 	m.Median, m.Worst = spread(m.Changes)
-	for _, name := range sortedNames(o.Maintenance) {
+	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
 		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
 	}
 	m.Idle = idle(o)
@@ -84,7 +85,7 @@
 	}
 	if len(missing) > 0 {
 		r.Elapsed = 0
-		r.Missing = sortedNames(missing)
+		r.Missing = slices.Sorted(maps.Keys(missing))
 	}
 	return r
 }
@@ -144,12 +145,3 @@
 	}
 	return n
 }
-
-func sortedNames[K ~string, V any](m map[K]V) []K {
-	names := make([]K, 0, len(m))
-	for k := range m {
-		names = append(names, k)
-	}
-	slices.Sort(names)
-	return names
-}
