Find a leader behind a wrongly named address

Proposals (1,407) and commit (1,409) on the leader show that no declaration reached it. The command line asked c1, which knew no leader; c2 named the leader at the address of the group's founder, a relay of the cut zone; each try of that address took c3's place in the rotation over the members, so that c3 was never asked. Ruled out: raft (nothing was waiting), the store, a full ring. Change: a followed address takes no member's turn; a member names the leader at the address in its own settings; a wait in tests that runs into its bound prints the metrics of every process, and a stream of declarations has such a bound.

--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -72,7 +72,19 @@
 	if st.Role == raft.RoleLeader {
 		return nil
 	}
-	return notLeader(string(st.Leader.Name), st.Leader.Address)
+	return s.notLeader(string(st.Leader.Name), st.Leader.Address)
+}
+
+// notLeader names the leader at the address that this member's settings give
+// it. The member list holds the addresses that the founder of the group uses,
+// and a path from elsewhere may not lead there.
+func (s *ControlServer[G, M]) notLeader(name, address string) error {
+	for _, m := range s.Controls {
+		if m.Name != "" && string(m.Name) == name {
+			address = m.Address
+		}
+	}
+	return notLeader(name, address)
 }
 
 // Propose hands a change to the group and answers with its result.
@@ -120,7 +132,7 @@
 func (s *ControlServer[G, M]) proposeError(err error) error {
 	var le leaderError
 	if errors.As(err, &le) {
-		return notLeader(le.KnownLeader())
+		return s.notLeader(le.KnownLeader())
 	}
 	return twirp.NewError(twirp.Unknown, err.Error())
 }
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -74,12 +74,16 @@
 
 // call tries the last known leader, then all members, until one takes the
 // call or ctx ends. It follows the address that a member names as the leader.
+// A followed address takes no member's turn: the address may be wrong, and the
+// member whose turn it is may be the leader.
 func (l *Leader) call(ctx context.Context, op string, f func(context.Context, wirepb.Control) error) error {
 	next := l.known()
 	var last error
-	for n := 0; ; n++ {
+	turn := 0
+	for n := 1; ; n++ {
 		if next == "" {
-			next = l.Members[n%len(l.Members)].Address
+			next = l.Members[turn%len(l.Members)].Address
+			turn++
 		}
 		mapped, leader := l.attempt(ctx, op, next, f)
 		if mapped == nil {
@@ -96,7 +100,7 @@
 		}
 		// Waiting also bounds the rate at which two members that name each other
 		// as the leader are asked.
-		if n%len(l.Members) == len(l.Members)-1 {
+		if n%len(l.Members) == 0 {
 			l.wait(ctx)
 		}
 		if ctx.Err() != nil {
--- a/tests/rest_test.go
+++ b/tests/rest_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,6 +28,20 @@
 	return out
 }
 
+// describe returns the metrics of every process, for a wait that ran into its
+// bound.
+func (s *system) describe() string {
+	var b strings.Builder
+	for _, p := range slices.Concat(s.controls, s.entries) {
+		fmt.Fprintf(&b, "%s in %s:\n", p.name, p.zone)
+		m := s.metrics(p)
+		for _, name := range slices.Sorted(maps.Keys(m)) {
+			fmt.Fprintf(&b, "  %s %v\n", name, m[name])
+		}
+	}
+	return b.String()
+}
+
 // observed is how long the processes are observed at rest.
 const observed = 10 * time.Second
 
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -333,7 +333,7 @@
 	for !f() {
 		if time.Now().After(deadline) {
 			out, _ := s.cli("status")
-			s.t.Fatalf("timed out waiting for %s\n%s", what, out)
+			s.t.Fatalf("timed out waiting for %s\n%s%s", what, out, s.describe())
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -153,7 +153,8 @@
 
 // stream declares until stop is closed or n declarations were accepted. A
 // declaration whose answer was lost is sent again with the same identity, as
-// operators do; a refusal or a conflict is a failure.
+// operators do; a refusal, a conflict, or no answer within patience is a
+// failure.
 func (s *system) stream(prefix string, workers, n int, stop <-chan struct{}) (*changes, *sync.WaitGroup) {
 	c := &changes{accepted: map[string]uint64{}}
 	var next atomic.Int64
@@ -177,7 +178,7 @@
 }
 
 func (s *system) declareUntilAnswered(c *changes, name string, stop <-chan struct{}) bool {
-	for {
+	for deadline := time.Now().Add(patience); ; {
 		select {
 		case <-stop:
 			return false
@@ -196,6 +197,9 @@
 		case strings.Contains(out, "conflict") || strings.Contains(out, "refused:"):
 			c.failed = append(c.failed, out)
 			err = nil
+		case time.Now().After(deadline):
+			c.failed = append(c.failed, "no answer: "+out+s.describe())
+			err = nil
 		}
 		c.mu.Unlock()
 		if err == nil {
