--- a/tests/rest_test.go
+++ b/tests/rest_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
