--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
