Hold submitted work in the replicated state

Cause: the platform's callers submit jobs, and placement ran in no process. Change: package jobs with configuration, jobs, tasks and waves, changed by batches of operations; the stored form of both; a change of that kind in the fleet's state.

--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -47,6 +47,9 @@
 		return s.applyOutcomes(index, c)
 	case model.ChangeProcessGone:
 		return s.declareGone(index, c)
+	case model.ChangeJobs:
+		s.Jobs.Apply(c.Ops, s.Time)
+		return model.Result{Version: index}
 	default:
 		return invalid(fmt.Sprintf("unknown kind of change %d", c.Kind))
 	}
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/model"
 )
 
@@ -67,6 +68,8 @@
 	// Touches lists the latest table changes in ascending order of version;
 	// at most MaxTouches.
 	Touches []Touch
+	// Jobs is the submitted work.
+	Jobs *jobs.State
 }
 
 // HeldClaim is a claimed idempotency key.
@@ -104,6 +107,7 @@
 		Authors:     map[string]Author{},
 		Gone:        map[model.Process]clock.Millis{},
 		Runs:        map[model.Process]uint64{},
+		Jobs:        jobs.New(),
 	}
 }
 
--- /dev/null
+++ b/core/state/jobs/clone.go
@@ -0,0 +1,36 @@
+package jobs
+
+import (
+	"maps"
+	"slices"
+)
+
+// Clone returns a copy that shares nothing that operations change.
+func (s *State) Clone() *State {
+	c := *s
+	c.Ended = slices.Clone(s.Ended)
+	c.Jobs = make(map[ID]*Record, len(s.Jobs))
+	for id, r := range s.Jobs {
+		c.Jobs[id] = r.clone()
+	}
+	c.Waves = make(map[int]*Wave, len(s.Waves))
+	for n, w := range s.Waves {
+		x := *w
+		x.Ordered, x.Begun = maps.Clone(w.Ordered), maps.Clone(w.Begun)
+		c.Waves[n] = &x
+	}
+	return &c
+}
+
+func (r *Record) clone() *Record {
+	c := *r
+	c.Occurrences = slices.Clone(r.Occurrences)
+	for k := range c.Occurrences {
+		steps := slices.Clone(c.Occurrences[k].Steps)
+		for i := range steps {
+			steps[i].Tasks = slices.Clone(steps[i].Tasks)
+		}
+		c.Occurrences[k].Steps = steps
+	}
+	return &c
+}
--- /dev/null
+++ b/core/state/jobs/state.go
@@ -0,0 +1,277 @@
+package jobs
+
+import "camphorridge/core/state/clock"
+
+// Retention is how long an ended job is remembered. Submitters ask for two
+// minutes.
+const Retention = 5 * clock.Minute
+
+// State is the replicated state of submitted work.
+type State struct {
+	// Time is the largest time of an operation; it only grows.
+	Time   clock.Millis
+	Config Config
+	// Jobs holds every job that was accepted and not forgotten.
+	Jobs map[ID]*Record
+	// Seq is the number of the latest accepted job; it only grows.
+	Seq   uint64
+	Waves map[int]*Wave
+	// Ended lists the jobs with a final status in the order of their ends.
+	Ended []ID
+}
+
+// New returns the empty state.
+func New() *State {
+	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}}
+}
+
+// Apply applies the operations of one batch made at time now. Operations that
+// no longer fit the state change nothing: a second submission of an id, the end
+// of a run that is not the latest, a configuration that is not newer.
+func (s *State) Apply(ops []Op, now clock.Millis) {
+	s.Time = max(s.Time, now)
+	for i := range ops {
+		s.apply(&ops[i])
+	}
+	s.forget()
+}
+
+func (s *State) apply(o *Op) {
+	switch o.Kind {
+	case OpSubmit:
+		s.submit(o.Job)
+	case OpCancel:
+		s.cancel(o.Task.Job)
+	case OpAssign:
+		s.assign(o)
+	case OpEnd:
+		s.end(o)
+	case OpConfig:
+		if o.Config.Version > s.Config.Version {
+			s.Config = *o.Config
+		}
+	case OpWave:
+		s.declare(o.Wave)
+	case OpOrdered:
+		if w := s.Waves[o.Number]; w != nil {
+			w.Ordered[o.Machine] = true
+		}
+	case OpBegun:
+		if w := s.Waves[o.Number]; w != nil {
+			w.Begun[o.Machine] = true
+		}
+	}
+}
+
+func (s *State) submit(j *Job) {
+	if s.Jobs[j.ID] != nil {
+		return
+	}
+	s.Seq++
+	s.Jobs[j.ID] = NewRecord(*j, s.Seq)
+}
+
+// NewRecord returns the record of a job of which nothing has run.
+func NewRecord(j Job, seq uint64) *Record {
+	r := &Record{Job: j, Seq: seq, Occurrences: make([]Occurrence, max(j.Times, 1))}
+	for k := range r.Occurrences {
+		r.Occurrences[k] = newOccurrence(j.Steps)
+	}
+	return r
+}
+
+// Count sets the sums of what is done from the phases of the tasks.
+func (r *Record) Count() {
+	r.Done = 0
+	for k := range r.Occurrences {
+		o := &r.Occurrences[k]
+		o.Done = 0
+		for i := range o.Steps {
+			st := &o.Steps[i]
+			st.Done = 0
+			for _, t := range st.Tasks {
+				if t.Phase == PhaseDone {
+					st.Done++
+				}
+			}
+			if st.Done == len(st.Tasks) {
+				o.Done++
+			}
+		}
+		if o.Done == len(o.Steps) {
+			r.Done++
+		}
+	}
+}
+
+// newOccurrence keeps the tasks of all steps in one allocation.
+func newOccurrence(steps []Step) Occurrence {
+	n := 0
+	for i := range steps {
+		n += steps[i].Count
+	}
+	all := make([]TaskState, n)
+	o := Occurrence{Steps: make([]StepState, len(steps))}
+	for i := range steps {
+		o.Steps[i].Tasks, all = all[:steps[i].Count:steps[i].Count], all[steps[i].Count:]
+	}
+	return o
+}
+
+func (s *State) cancel(id ID) {
+	if r := s.Jobs[id]; r != nil && !r.Status.Final() {
+		s.finish(r, StatusCancelled)
+	}
+}
+
+func (s *State) finish(r *Record, to Status) {
+	r.Status, r.Ended = to, s.Time
+	s.Ended = append(s.Ended, r.ID)
+}
+
+// forget drops jobs that ended longer ago than Retention.
+func (s *State) forget() {
+	for len(s.Ended) > 0 {
+		r := s.Jobs[s.Ended[0]]
+		if r != nil && s.Time-r.Ended < Retention {
+			return
+		}
+		delete(s.Jobs, s.Ended[0])
+		s.Ended = s.Ended[1:]
+	}
+}
+
+// Task returns the state of a task; nil for one that does not exist.
+func (s *State) Task(t Task) *TaskState {
+	r := s.Jobs[t.Job]
+	if r == nil {
+		return nil
+	}
+	return r.Task(t)
+}
+
+// Task returns the state of a task of the job; nil for one that does not
+// exist.
+func (r *Record) Task(t Task) *TaskState {
+	if t.Occurrence < 0 || t.Occurrence >= len(r.Occurrences) || t.Step < 0 || t.Index < 0 {
+		return nil
+	}
+	o := &r.Occurrences[t.Occurrence]
+	if t.Step >= len(o.Steps) || t.Index >= len(o.Steps[t.Step].Tasks) {
+		return nil
+	}
+	return &o.Steps[t.Step].Tasks[t.Index]
+}
+
+func (s *State) assign(o *Op) {
+	r := s.Jobs[o.Task.Job]
+	if r == nil || r.Status.Final() {
+		return
+	}
+	t := r.Task(o.Task)
+	if t == nil || t.Phase != PhaseWaiting || o.Run <= t.Run {
+		return
+	}
+	t.Phase, t.Run, t.Worker, t.Life = PhaseAssigned, o.Run, o.Worker, o.Life
+	r.Started = true
+	if r.Status == StatusQueued {
+		r.Status = StatusRunning
+	}
+}
+
+func (s *State) end(o *Op) {
+	r := s.Jobs[o.Task.Job]
+	if r == nil {
+		return
+	}
+	t := r.Task(o.Task)
+	if t == nil || t.Phase != PhaseAssigned || t.Run != o.Run {
+		return
+	}
+	t.Phase, t.Worker, t.Life = PhaseWaiting, "", 0
+	if o.Saved != "" {
+		t.Saved = o.Saved
+	}
+	step := &r.Steps[o.Task.Step]
+	switch {
+	case o.How == HowDone && !step.Lasting:
+		s.done(r, o.Task, t)
+	case o.How == HowFailed && !step.Lasting:
+		t.Fails++
+		if t.Fails >= max(r.Attempts, 1) && !r.Status.Final() {
+			s.finish(r, StatusFailed)
+		}
+	}
+}
+
+// done notes a task's good end, and those of its step, occurrence and job with
+// it.
+func (s *State) done(r *Record, id Task, t *TaskState) {
+	t.Phase = PhaseDone
+	o := &r.Occurrences[id.Occurrence]
+	st := &o.Steps[id.Step]
+	st.Done++
+	if st.Done < len(st.Tasks) {
+		return
+	}
+	o.Done++
+	if o.Done < len(o.Steps) {
+		return
+	}
+	r.Done++
+	if r.Done == len(r.Occurrences) && !r.Status.Final() {
+		s.finish(r, StatusCompleted)
+	}
+}
+
+func (s *State) declare(w *Wave) {
+	if s.Waves[w.Number] != nil {
+		return
+	}
+	n := *w
+	n.Ordered, n.Begun = map[MachineID]bool{}, map[MachineID]bool{}
+	s.Waves[w.Number] = &n
+}
+
+// Queue returns the queue of a name.
+func (c *Config) Queue(name QueueName) (Queue, bool) {
+	for _, q := range c.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
+// Ready reports whether all tasks of the steps that a step waits for are done.
+func (r *Record) Ready(occurrence, step int) bool {
+	o := &r.Occurrences[occurrence]
+	for _, before := range r.Steps[step].After {
+		if o.Steps[before].Done < len(o.Steps[before].Tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// Due returns the time from which an occurrence may start; 0 for at once.
+func (r *Record) Due(occurrence int) clock.Millis {
+	if r.Times == 0 {
+		return 0
+	}
+	return r.First + clock.Millis(occurrence)*r.Interval
+}
+
+// Chain returns the length of the longest chain of steps by their estimates.
+func (j *Job) Chain() clock.Millis {
+	var longest clock.Millis
+	ends := make([]clock.Millis, len(j.Steps))
+	for i := range j.Steps {
+		for _, before := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/core/state/jobs/types.go
@@ -0,0 +1,306 @@
+package jobs
+
+import "camphorridge/core/state/clock"
+
+// Names of the objects of the package.
+type (
+	// ID names a job; submitters choose it.
+	ID string
+	// QueueName names a queue of the configuration.
+	QueueName string
+	// PoolName names the workers that run a queue's tasks.
+	PoolName string
+	// WorkerID names a machine that runs tasks.
+	WorkerID string
+	// MachineID names the hardware under a worker; it outlasts the worker.
+	MachineID string
+)
+
+// Size is an amount of processors, memory and accelerators.
+type Size struct {
+	MilliCores   int
+	MemoryMiB    int
+	Accelerators int
+}
+
+// Life tells the lives of a worker with one name apart: the Unix millisecond
+// of its start. A later life knows nothing of an earlier one.
+type Life int64
+
+// Task names one task of a job.
+type Task struct {
+	Job ID
+	// Occurrence counts the repetitions of a scheduled job from 0.
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// Queue is a rule of the configuration.
+type Queue struct {
+	Name QueueName
+	// Host and Prefix select the queue for a request.
+	Host   string
+	Prefix string
+	Pool   PoolName
+	// Priority 0 goes first.
+	Priority int
+	// Attempts is the number of failed runs after which a task fails its job;
+	// at least 1.
+	Attempts int
+	// Target and StretchPermille make a job's objective: the target on top of
+	// the stretched length of its longest chain of steps.
+	Target          clock.Millis
+	StretchPermille int
+	// Advised queues run on workers that the platform's advice names only.
+	Advised bool
+}
+
+// Pool is a set of workers of the configuration.
+type Pool struct {
+	Name PoolName
+	// Standby pools hold machines that are off.
+	Standby bool
+	// Guarded workers reject a start that they have no room for.
+	Guarded bool
+}
+
+// Config is the configuration in force.
+type Config struct {
+	// Version only grows; 0 stands for no configuration.
+	Version uint64
+	// Document is the configuration as the operator sent it.
+	Document []byte
+	Queues   []Queue
+	Pools    []Pool
+}
+
+// Step is one step of a job.
+type Step struct {
+	// Count is the number of tasks; at least 1.
+	Count int
+	Need  Size
+	// Estimate is a rough duration of one task.
+	Estimate clock.Millis
+	// After lists the earlier steps that must be done first.
+	After []int
+	// Saves is set when tasks make checkpoints.
+	Saves bool
+	// Gang tasks work only all together.
+	Gang     bool
+	SameRack bool
+	// Label must be among a worker's labels when it is not empty.
+	Label string
+	// DataRack is the rack near the data; empty for none.
+	DataRack string
+	// PerWorker bounds the tasks of the step on one worker; 0 for no bound.
+	PerWorker int
+	// Copies allows several runs of a task at a time.
+	Copies bool
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool
+	Image   string
+	// Latency is the bound on a serving task's tail; 0 for none.
+	Latency clock.Millis
+	// Filler tasks take processor time that others leave; their share of Need
+	// is not counted.
+	Filler bool
+	// MayMiss is the number of lasting tasks that may be away at a time by the
+	// system's own action.
+	MayMiss int
+}
+
+// Job is what a submitter hands in, with the rules of its queue at that time.
+type Job struct {
+	ID    ID
+	Queue QueueName
+	// Pool is the queue's pool at submission; it serves when the queue is
+	// removed.
+	Pool PoolName
+	// Spec is passed on to workers as it is.
+	Spec  string
+	Steps []Step
+	// Times is the number of occurrences of a scheduled job, which are due at
+	// First and then each Interval; 0 for a job that runs once, at once.
+	Times    int
+	First    clock.Millis
+	Interval clock.Millis
+	// Priority, Attempts, Target and StretchPermille are the queue's.
+	Priority        int
+	Attempts        int
+	Target          clock.Millis
+	StretchPermille int
+	// Accepted is the leader's time at submission.
+	Accepted clock.Millis
+}
+
+// Phase is the state of a task.
+type Phase uint8
+
+// The phases of a task.
+const (
+	// PhaseWaiting: on no worker.
+	PhaseWaiting Phase = iota
+	// PhaseAssigned: a start order may have reached Worker.
+	PhaseAssigned
+	// PhaseDone: a run ended well.
+	PhaseDone
+)
+
+// TaskState is what is known of a task.
+type TaskState struct {
+	Phase Phase
+	// Run is the number of the latest start; it only grows, also over changes
+	// of leader, so that two starts never share a number.
+	Run int
+	// Fails counts the runs that failed.
+	Fails int
+	// Worker and Life are set in PhaseAssigned.
+	Worker WorkerID
+	Life   Life
+	// Saved is the latest checkpoint; empty for none.
+	Saved string
+}
+
+// StepState is what is known of a step of one occurrence.
+type StepState struct {
+	Tasks []TaskState
+	// Done counts the tasks in PhaseDone.
+	Done int
+}
+
+// Occurrence is one repetition of a job.
+type Occurrence struct {
+	Steps []StepState
+	// Done counts the steps whose tasks are all done.
+	Done int
+}
+
+// Status is the state of a job as submitters see it.
+type Status uint8
+
+// The states of a job.
+const (
+	StatusQueued Status = iota
+	StatusRunning
+	StatusCompleted
+	StatusFailed
+	StatusCancelled
+)
+
+var statusNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
+
+// String returns the name used in logs and answers.
+func (s Status) String() string {
+	if int(s) >= len(statusNames) {
+		return "unknown"
+	}
+	return statusNames[s]
+}
+
+// Final reports whether the status never changes again.
+func (s Status) Final() bool { return s >= StatusCompleted }
+
+// Record is a job and its progress.
+type Record struct {
+	Job
+	// Seq orders jobs by acceptance.
+	Seq    uint64
+	Status Status
+	// Started is set once a task has been assigned.
+	Started bool
+	// Ended is the time of the final status; 0 before.
+	Ended clock.Millis
+	// Occurrences has one entry for each repetition; one for a job that runs
+	// once.
+	Occurrences []Occurrence
+	// Done counts the occurrences whose steps are all done.
+	Done int
+}
+
+// Wave is a declared maintenance of machines.
+type Wave struct {
+	Number   int
+	Machines []MachineID
+	// Cap bounds the machines that are down for the wave at a time.
+	Cap int
+	// Declared is the leader's time at acceptance; Deadline is later.
+	Declared clock.Millis
+	Deadline clock.Millis
+	// Ordered holds the machines whose maintenance may have been ordered, and
+	// Begun those of them whose order was confirmed or that are gone.
+	Ordered map[MachineID]bool
+	Begun   map[MachineID]bool
+}
+
+// Completed reports whether the maintenance of every machine has begun.
+func (w *Wave) Completed() bool { return len(w.Begun) >= len(w.Machines) }
+
+// How says how a run ended.
+type How uint8
+
+// The ends of a run.
+const (
+	HowDone How = iota
+	// HowFailed counts as an attempt.
+	HowFailed
+	HowStopped
+	// HowLapsed: the worker's lease ran out.
+	HowLapsed
+	// HowRefused: the worker did not start the run.
+	HowRefused
+	// HowLost: the run did not reach the worker, or the worker is gone.
+	HowLost
+)
+
+var howNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
+
+// String returns the name used in logs.
+func (h How) String() string {
+	if int(h) >= len(howNames) {
+		return "unknown"
+	}
+	return howNames[h]
+}
+
+// OpKind tells operations apart.
+type OpKind uint8
+
+// The kinds of operation.
+const (
+	// OpSubmit adds Job.
+	OpSubmit OpKind = iota
+	// OpCancel cancels Task.Job.
+	OpCancel
+	// OpAssign assigns Task to Worker and Life with number Run.
+	OpAssign
+	// OpEnd ends run Run of Task as How, with checkpoint Saved.
+	OpEnd
+	// OpConfig puts Config in force.
+	OpConfig
+	// OpWave declares Wave.
+	OpWave
+	// OpOrdered notes that the maintenance of Machine in wave Number may have
+	// been ordered.
+	OpOrdered
+	// OpBegun notes that the maintenance of Machine in wave Number has begun.
+	OpBegun
+)
+
+// Op is one operation. The fields that belong to Kind are set.
+type Op struct {
+	Kind    OpKind
+	Task    Task
+	Run     int
+	Worker  WorkerID
+	Life    Life
+	How     How
+	Saved   string
+	Number  int
+	Machine MachineID
+	// Job, Config and Wave are nil unless Kind calls for them; they are not
+	// changed after the operation was made.
+	Job    *Job
+	Config *Config
+	Wave   *Wave
+}
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -1,6 +1,9 @@
 package model
 
-import "camphorridge/core/state/clock"
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
 
 // ChangeKind tells the changes of the replicated state apart.
 type ChangeKind int
@@ -18,6 +21,8 @@
 	// ChangeProcessGone says that every run of an entry process that started
 	// before the change has ended for good.
 	ChangeProcessGone
+	// ChangeJobs carries a batch of operations on submitted work.
+	ChangeJobs
 )
 
 // Change is one entry of the replicated log. The field that belongs to Kind
@@ -48,6 +53,8 @@
 	// Process alone names one that is gone.
 	Process Process
 	Run     uint64
+	// Ops are applied in order at Time.
+	Ops []jobs.Op
 }
 
 // InstanceStep moves one instance from one phase to the next. Base must be
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -33,6 +33,8 @@
 		w.Outcomes = list(c.Outcomes, ClaimOutcomeToWire)
 	case model.ChangeProcessGone:
 		w.Process = text(c.Process)
+	case model.ChangeJobs:
+		w.Ops = list(c.Ops, OpToWire)
 	}
 	return w
 }
@@ -40,7 +42,7 @@
 // ChangeFromWire maps a change. The names in the fields that belong to its
 // kind are required; the other fields are ignored.
 func ChangeFromWire(w *wirepb.Change) (model.Change, error) {
-	kind, err := enum("change", "kind", w.GetKind(), model.ChangeProcessGone)
+	kind, err := enum("change", "kind", w.GetKind(), model.ChangeJobs)
 	if err != nil {
 		return model.Change{}, err
 	}
@@ -70,6 +72,8 @@
 	case model.ChangeProcessGone:
 		c.Process = model.Process(w.GetProcess())
 		err = required("change", "process", w.GetProcess())
+	case model.ChangeJobs:
+		c.Ops, err = listFrom(w.GetOps(), OpFromWire)
 	}
 	if err != nil {
 		return model.Change{}, err
--- a/io/proto/codec/change_test.go
+++ b/io/proto/codec/change_test.go
@@ -157,7 +157,7 @@
 		change model.Change
 		kind   Kind
 	}{
-		{"kind above the last", model.Change{Kind: model.ChangeProcessGone + 1}, KindRange},
+		{"kind above the last", model.Change{Kind: model.ChangeJobs + 1}, KindRange},
 		{"kind below 0", model.Change{Kind: -1}, KindRange},
 		{"phase above the last", step(badPhase), KindRange},
 		{"step without a pool", step(noPool), KindMissing},
--- /dev/null
+++ b/io/proto/codec/job.go
@@ -0,0 +1,155 @@
+package codec
+
+import (
+	"fmt"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/io/proto/wirepb"
+)
+
+// maxTasks bounds the tasks of one occurrence of a job, so that a malformed
+// record cannot make a process allocate without a bound.
+const maxTasks = 100_000
+
+// JobToWire maps a job. Its specification may be any bytes.
+func JobToWire(j jobs.Job) *wirepb.Job {
+	return &wirepb.Job{
+		Id: text(j.ID), Queue: text(j.Queue), Pool: text(j.Pool), Spec: []byte(j.Spec),
+		Steps: list(j.Steps, jobStepToWire),
+		Times: int64(j.Times), FirstMs: int64(j.First), IntervalMs: int64(j.Interval),
+		Priority: int64(j.Priority), Attempts: int64(j.Attempts),
+		TargetMs: int64(j.Target), StretchPermille: int64(j.StretchPermille), AcceptedMs: int64(j.Accepted),
+	}
+}
+
+// JobFromWire maps a job. It must have an identity and steps whose order and
+// size are possible.
+func JobFromWire(w *wirepb.Job) (jobs.Job, error) {
+	if err := required("job", "id", w.GetId()); err != nil {
+		return jobs.Job{}, err
+	}
+	j := jobs.Job{
+		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Pool: jobs.PoolName(w.GetPool()), Spec: string(w.GetSpec()),
+		Times: int(w.GetTimes()), First: clock.Millis(w.GetFirstMs()), Interval: clock.Millis(w.GetIntervalMs()),
+		Priority: int(w.GetPriority()), Attempts: int(w.GetAttempts()),
+		Target: clock.Millis(w.GetTargetMs()), StretchPermille: int(w.GetStretchPermille()), Accepted: clock.Millis(w.GetAcceptedMs()),
+	}
+	total := int64(0)
+	for i, s := range w.GetSteps() {
+		total += s.GetCount()
+		if s.GetCount() < 1 || total > maxTasks {
+			return j, jobError(KindRange, "step %d has %d tasks", i, s.GetCount())
+		}
+		for _, before := range s.GetAfter() {
+			if before < 0 || before >= int64(i) {
+				return j, jobError(KindRange, "step %d waits for step %d", i, before)
+			}
+		}
+		j.Steps = append(j.Steps, jobStepFromWire(s))
+	}
+	if len(j.Steps) == 0 {
+		return j, jobError(KindMissing, "job %s has no steps", j.ID)
+	}
+	if j.Times < 0 || int64(j.Times)*total > maxTasks {
+		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.Times, total)
+	}
+	return j, nil
+}
+
+func jobError(kind Kind, format string, args ...any) error {
+	return &Error{Op: "job", Kind: kind, Err: fmt.Errorf(format, args...)}
+}
+
+func jobStepToWire(s jobs.Step) *wirepb.JobStep {
+	w := &wirepb.JobStep{
+		Count: int64(s.Count), EstimateMs: int64(s.Estimate), Saves: s.Saves, Gang: s.Gang, SameRack: s.SameRack,
+		Label: text(s.Label), DataRack: text(s.DataRack), PerWorker: int64(s.PerWorker), Copies: s.Copies,
+		Lasting: s.Lasting, Image: text(s.Image), LatencyMs: int64(s.Latency), Filler: s.Filler, MayMiss: int64(s.MayMiss),
+		Need: &wirepb.JobSize{
+			MilliCores: int64(s.Need.MilliCores), MemoryMib: int64(s.Need.MemoryMiB), Accelerators: int64(s.Need.Accelerators),
+		},
+	}
+	for _, before := range s.After {
+		w.After = append(w.After, int64(before))
+	}
+	return w
+}
+
+func jobStepFromWire(w *wirepb.JobStep) jobs.Step {
+	s := jobs.Step{
+		Count: int(w.GetCount()), Estimate: clock.Millis(w.GetEstimateMs()), Saves: w.GetSaves(), Gang: w.GetGang(),
+		SameRack: w.GetSameRack(), Label: w.GetLabel(), DataRack: w.GetDataRack(), PerWorker: int(w.GetPerWorker()),
+		Copies: w.GetCopies(), Lasting: w.GetLasting(), Image: w.GetImage(), Latency: clock.Millis(w.GetLatencyMs()),
+		Filler: w.GetFiller(), MayMiss: int(w.GetMayMiss()),
+		Need: jobs.Size{
+			MilliCores: int(w.GetNeed().GetMilliCores()), MemoryMiB: int(w.GetNeed().GetMemoryMib()),
+			Accelerators: int(w.GetNeed().GetAccelerators()),
+		},
+	}
+	for _, before := range w.GetAfter() {
+		s.After = append(s.After, int(before))
+	}
+	return s
+}
+
+func taskToWire(t jobs.Task) *wirepb.JobTask {
+	return &wirepb.JobTask{Job: text(t.Job), Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
+}
+
+func taskFromWire(w *wirepb.JobTask) jobs.Task {
+	return jobs.Task{
+		Job: jobs.ID(w.GetJob()), Occurrence: int(w.GetOccurrence()), Step: int(w.GetStep()), Index: int(w.GetIndex()),
+	}
+}
+
+// OpToWire maps an operation on submitted work.
+func OpToWire(o jobs.Op) *wirepb.JobOp {
+	w := &wirepb.JobOp{
+		Kind: int32(o.Kind), Run: int64(o.Run), Worker: text(o.Worker), Life: int64(o.Life), How: int32(o.How),
+		Saved: []byte(o.Saved), Number: int64(o.Number), Machine: text(o.Machine),
+	}
+	if o.Task != (jobs.Task{}) {
+		w.Task = taskToWire(o.Task)
+	}
+	if o.Job != nil {
+		w.Job = JobToWire(*o.Job)
+	}
+	if o.Config != nil {
+		w.Config = jobConfigToWire(*o.Config)
+	}
+	if o.Wave != nil {
+		w.Wave = waveToWire(o.Wave)
+	}
+	return w
+}
+
+// OpFromWire maps an operation on submitted work; the part that its kind calls
+// for is required.
+func OpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
+	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpBegun) {
+		return jobs.Op{}, jobError(KindRange, "operation of kind %d", w.GetKind())
+	}
+	if w.GetHow() < 0 || w.GetHow() > int32(jobs.HowLost) {
+		return jobs.Op{}, jobError(KindRange, "end of kind %d", w.GetHow())
+	}
+	o := jobs.Op{
+		Kind: jobs.OpKind(w.GetKind()), Task: taskFromWire(w.GetTask()), Run: int(w.GetRun()),
+		Worker: jobs.WorkerID(w.GetWorker()), Life: jobs.Life(w.GetLife()), How: jobs.How(w.GetHow()),
+		Saved: string(w.GetSaved()), Number: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
+	}
+	switch o.Kind {
+	case jobs.OpSubmit:
+		j, err := JobFromWire(w.GetJob())
+		if err != nil {
+			return o, err
+		}
+		o.Job = &j
+	case jobs.OpConfig:
+		c := jobConfigFromWire(w.GetConfig())
+		o.Config = &c
+	case jobs.OpWave:
+		o.Wave = waveFromWire(w.GetWave())
+	}
+	return o, nil
+}
--- /dev/null
+++ b/io/proto/codec/job_test.go
@@ -0,0 +1,91 @@
+package codec
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/model"
+)
+
+// anyJob generates one of a few jobs, so that operations meet.
+func anyJob(t *rapid.T) jobs.Job {
+	j := jobs.Job{
+		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", Attempts: 2, Target: 3600, StretchPermille: 1600,
+		Steps: []jobs.Step{
+			{Count: 2, Need: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", PerWorker: 1},
+			{Count: 1, After: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
+		},
+	}
+	j.Times = rapid.IntRange(0, 2).Draw(t, "times")
+	return j
+}
+
+func anyJobID(t *rapid.T) jobs.ID {
+	return jobs.ID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job"))
+}
+
+// anyOp generates an operation on submitted work.
+func anyOp(t *rapid.T) jobs.Op {
+	o := jobs.Op{
+		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpBegun)).Draw(t, "op")),
+		Task: jobs.Task{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
+		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Life: 7,
+		How:  jobs.How(rapid.IntRange(0, int(jobs.HowLost)).Draw(t, "how")), Saved: "\xfe",
+		Number: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
+	}
+	switch o.Kind {
+	case jobs.OpSubmit:
+		j := anyJob(t)
+		o.Job = &j
+	case jobs.OpConfig:
+		o.Config = &jobs.Config{
+			Version: rapid.Uint64Range(1, 9).Draw(t, "version"), Document: []byte("{}"),
+			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", Attempts: 2, Advised: true}},
+			Pools:  []jobs.Pool{{Name: "p", Standby: true, Guarded: true}},
+		}
+	case jobs.OpWave:
+		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, Cap: 1, Declared: 5, Deadline: clock.Minute}
+	}
+	return o
+}
+
+// TestJobsChangeRoundTrip fails when a part of an operation is lost in the
+// log.
+func TestJobsChangeRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := model.Change{Kind: model.ChangeJobs, Time: 5, Ops: some(t, anyOp)}
+		got, err := Codec{}.DecodeChange(Codec{}.EncodeChange(c))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, c, cmpopts.EquateEmpty())
+	})
+}
+
+// TestJobRefusals guards against jobs that could not be scheduled, or that
+// would make a process allocate without a bound.
+func TestJobRefusals(t *testing.T) {
+	step := jobs.Step{Count: 1}
+	cases := []struct {
+		name string
+		job  jobs.Job
+	}{
+		{"no id", jobs.Job{Steps: []jobs.Step{step}}},
+		{"no steps", jobs.Job{ID: "a"}},
+		{"no tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{}}}},
+		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: maxTasks + 1}}}},
+		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, Times: maxTasks + 1}},
+		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{0}}}}},
+		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{1}}, step}}},
+		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{-1}}}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := JobFromWire(JobToWire(c.job))
+			assert.Assert(t, err != nil)
+		})
+	}
+}
--- /dev/null
+++ b/io/proto/codec/jobs.go
@@ -0,0 +1,165 @@
+package codec
+
+import (
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/io/proto/wirepb"
+)
+
+func jobConfigToWire(c jobs.Config) *wirepb.JobConfig {
+	w := &wirepb.JobConfig{Version: c.Version, Document: c.Document}
+	for _, q := range c.Queues {
+		w.Queues = append(w.Queues, &wirepb.JobQueue{
+			Name: text(q.Name), Host: text(q.Host), Prefix: text(q.Prefix), Pool: text(q.Pool), Priority: int64(q.Priority),
+			Attempts: int64(q.Attempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advised: q.Advised,
+		})
+	}
+	for _, p := range c.Pools {
+		w.Pools = append(w.Pools, &wirepb.JobPool{Name: text(p.Name), Standby: p.Standby, Guarded: p.Guarded})
+	}
+	return w
+}
+
+func jobConfigFromWire(w *wirepb.JobConfig) jobs.Config {
+	c := jobs.Config{Version: w.GetVersion(), Document: w.GetDocument()}
+	for _, q := range w.GetQueues() {
+		c.Queues = append(c.Queues, jobs.Queue{
+			Name: jobs.QueueName(q.GetName()), Host: q.GetHost(), Prefix: q.GetPrefix(), Pool: jobs.PoolName(q.GetPool()),
+			Priority: int(q.GetPriority()), Attempts: int(q.GetAttempts()), Target: clock.Millis(q.GetTargetMs()),
+			StretchPermille: int(q.GetStretchPermille()), Advised: q.GetAdvised(),
+		})
+	}
+	for _, p := range w.GetPools() {
+		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(p.GetName()), Standby: p.GetStandby(), Guarded: p.GetGuarded()})
+	}
+	return c
+}
+
+func waveToWire(w *jobs.Wave) *wirepb.JobWave {
+	return &wirepb.JobWave{
+		Number: int64(w.Number), Machines: list(w.Machines, text), Cap: int64(w.Cap),
+		DeclaredMs: int64(w.Declared), DeadlineMs: int64(w.Deadline),
+		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Begun)), text),
+	}
+}
+
+func waveFromWire(w *wirepb.JobWave) *jobs.Wave {
+	v := &jobs.Wave{
+		Number: int(w.GetNumber()), Cap: int(w.GetCap()), Declared: clock.Millis(w.GetDeclaredMs()),
+		Deadline: clock.Millis(w.GetDeadlineMs()), Ordered: map[jobs.MachineID]bool{}, Begun: map[jobs.MachineID]bool{},
+	}
+	for _, m := range w.GetMachines() {
+		v.Machines = append(v.Machines, jobs.MachineID(m))
+	}
+	for _, m := range w.GetOrdered() {
+		v.Ordered[jobs.MachineID(m)] = true
+	}
+	for _, m := range w.GetBegun() {
+		v.Begun[jobs.MachineID(m)] = true
+	}
+	return v
+}
+
+// JobsToWire maps the submitted work, in the order of names.
+func JobsToWire(s *jobs.State) *wirepb.JobsSnapshot {
+	w := &wirepb.JobsSnapshot{
+		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: list(s.Ended, text),
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		w.Records = append(w.Records, recordToWire(s.Jobs[id]))
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.Waves)) {
+		w.Waves = append(w.Waves, waveToWire(s.Waves[n]))
+	}
+	return w
+}
+
+func recordToWire(r *jobs.Record) *wirepb.JobRecord {
+	w := &wirepb.JobRecord{
+		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.Started, EndedMs: int64(r.Ended),
+	}
+	for _, o := range r.Occurrences {
+		wo := &wirepb.JobOccurrence{}
+		at := int64(0)
+		for _, st := range o.Steps {
+			for _, t := range st.Tasks {
+				if t != (jobs.TaskState{}) {
+					wo.Tasks = append(wo.Tasks, &wirepb.JobTaskState{
+						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Fails),
+						Worker: text(t.Worker), Life: int64(t.Life), Saved: []byte(t.Saved),
+					})
+				}
+				at++
+			}
+		}
+		w.Occurrences = append(w.Occurrences, wo)
+	}
+	return w
+}
+
+// JobsFromWire maps the submitted work; nothing stands for none.
+func JobsFromWire(w *wirepb.JobsSnapshot) (*jobs.State, error) {
+	s := jobs.New()
+	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
+	s.Config = jobConfigFromWire(w.GetConfig())
+	for _, id := range w.GetEnded() {
+		s.Ended = append(s.Ended, jobs.ID(id))
+	}
+	for _, wr := range w.GetRecords() {
+		r, err := recordFromWire(wr)
+		if err != nil {
+			return nil, err
+		}
+		s.Jobs[r.ID] = r
+	}
+	for _, ww := range w.GetWaves() {
+		s.Waves[int(ww.GetNumber())] = waveFromWire(ww)
+	}
+	return s, nil
+}
+
+func recordFromWire(w *wirepb.JobRecord) (*jobs.Record, error) {
+	j, err := JobFromWire(w.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	if w.GetStatus() < 0 || w.GetStatus() > int32(jobs.StatusCancelled) {
+		return nil, jobError(KindRange, "job %s has status %d", j.ID, w.GetStatus())
+	}
+	r := jobs.NewRecord(j, w.GetSeq())
+	r.Status, r.Started, r.Ended = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
+	if len(w.GetOccurrences()) != len(r.Occurrences) {
+		return nil, jobError(KindRange, "job %s has %d occurrences in place of %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
+	}
+	for k, wo := range w.GetOccurrences() {
+		for _, wt := range wo.GetTasks() {
+			if err := restoreTask(r, k, wt); err != nil {
+				return nil, err
+			}
+		}
+	}
+	r.Count()
+	return r, nil
+}
+
+func restoreTask(r *jobs.Record, k int, w *wirepb.JobTaskState) error {
+	if w.GetPhase() < 0 || w.GetPhase() > int32(jobs.PhaseDone) {
+		return jobError(KindRange, "a task of job %s is in phase %d", r.ID, w.GetPhase())
+	}
+	at := int(w.GetAt())
+	for i := range r.Occurrences[k].Steps {
+		tasks := r.Occurrences[k].Steps[i].Tasks
+		if at >= 0 && at < len(tasks) {
+			tasks[at] = jobs.TaskState{
+				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Fails: int(w.GetFails()),
+				Worker: jobs.WorkerID(w.GetWorker()), Life: jobs.Life(w.GetLife()), Saved: string(w.GetSaved()),
+			}
+			return nil
+		}
+		at -= len(tasks)
+	}
+	return jobError(KindRange, "job %s has no task %d", r.ID, w.GetAt())
+}
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -25,6 +25,7 @@
 		Maintenance: list(sorted(s.Maintenance), MaintenanceToWire),
 		Touches:     list(s.Touches, touchToWire),
 		Outages:     list(s.Outages, OutageToWire),
+		Jobs:        JobsToWire(s.Jobs),
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.Runs)) {
 		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Runs[p]})
@@ -127,7 +128,8 @@
 		}
 		s.Authors[a.GetName()] = fleet.Author{Name: a.GetAuthor(), Version: model.Version(a.GetVersion())}
 	}
-	return s, nil
+	s.Jobs, err = JobsFromWire(w.GetJobs())
+	return s, err
 }
 
 func stateError(kind Kind, format string, args ...any) error {
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -43,6 +44,7 @@
 	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
 	s.Authors["contract x"] = fleet.Author{Name: "ana", Version: 7}
 	s.Touches = []fleet.Touch{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
+	s.Jobs.Apply(some(t, anyOp), 70_000)
 	return s
 }
 
@@ -57,7 +59,8 @@
 		assert.DeepEqual(t, remembered(got.Results), remembered(s.Results))
 		assert.DeepEqual(t, remembered(got.Claims), remembered(s.Claims))
 		assert.Assert(t, bytes.Equal(b, Codec{}.EncodeState(got)))
-		got.Results, got.Claims = s.Results, s.Claims
+		assert.DeepEqual(t, got.Jobs, s.Jobs, cmpopts.EquateEmpty())
+		got.Results, got.Claims, got.Jobs = s.Results, s.Claims, s.Jobs
 		assert.Equal(t, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", s))
 	})
 }
