Pace waves by their deadline and count a leaving worker's tasks as away

Jobs that can never be done set workers aside 48 times. Change: as many machines down as the deadline calls for, those of pools without waiting work first; tasks of a leaving worker are away; failures of one job count once; work that will miss its objective goes last; shorter pauses between heartbeats while work waits.

--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -264,7 +264,8 @@
 }
 
 // judgeWorker weighs the end of a run against its worker, next to how the
-// queue's tasks fare on other workers.
+// queue's tasks fare on other workers. Several failures of one job count once:
+// a job that can never be done fails wherever it runs.
 func (b *Board[O, J]) judgeWorker(w *worker, r *run, failed bool, now clock.Millis) {
 	p := b.pool(w.pool)
 	rec := p.records[r.rec.Queue]
@@ -272,16 +273,29 @@
 		rec = place.NewRecord()
 		p.records[r.rec.Queue] = rec
 	}
+	if failed && w.lastFailed == r.task.Job {
+		return
+	}
 	id := place.WorkerID(w.id)
 	w.weight = max(0, w.weight+b.judge.Weigh(rec.Evidence(id, failed)))
 	rec.Note(id, failed)
-	if failed && w.weight >= b.judge.Limit() && w.aside <= now {
+	if !failed {
+		w.streak = 0
+		return
+	}
+	w.streak++
+	w.lastFailed = r.task.Job
+	if w.weight >= b.judge.Limit() && w.streak >= leastStreak && w.aside <= now {
 		w.aside = now + b.set.AsideMillis
 		w.weight = b.judge.Limit() / 2
 		b.note("worker-set-aside", r, w, "it fails what its peers run")
 	}
 }
 
+// leastStreak is the number of jobs in a row that fail on a worker before it
+// is set aside.
+const leastStreak = 2
+
 // holdUntil is when a heartbeat has to be answered. A worker whose task may
 // end soon is answered at once, because it reports the end only after the
 // answer.
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -58,8 +58,14 @@
 	strays map[jobs.Task]stray
 	// beat is set while a heartbeat waits for its answer.
 	beat *waiting
-	// held keeps new tasks off a worker whose machine is to be maintained.
-	held bool
+	// held keeps new tasks off a worker whose machine is to be maintained, and
+	// leaving is set from the order on, when its tasks count as away.
+	held    bool
+	leaving bool
+	// streak counts the jobs in a row whose tasks failed here, and lastFailed is
+	// the latest of them.
+	streak     int
+	lastFailed jobs.ID
 	// weight is the evidence against the worker; it is set aside until aside.
 	weight float64
 	aside  clock.Millis
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -38,7 +38,8 @@
 
 // EarliestObjective is for loads that exceed the workers for some seconds and
 // fall below them afterwards: work is done in the order of objectives, and
-// work that missed its own comes after all that can still meet its.
+// work that will miss its own comes after all that can still meet its. Without
+// the latter every job of a surge would be started just too late.
 type EarliestObjective struct{}
 
 // Rank orders by objective.
@@ -47,12 +48,32 @@
 	switch {
 	case lasting(&r.Job):
 		k.Class, k.Key = classLasting, clock.Millis(r.Priority)
-	case k.Key < now:
+	case k.Key < now+remaining(r, occurrence):
 		k.Class = classLate
 	}
 	return k
 }
 
+// remaining is the length of the longest chain of steps that are not done.
+func remaining(r *jobs.Record, occurrence int) clock.Millis {
+	var longest clock.Millis
+	var buf [16]clock.Millis
+	ends := buf[:0]
+	o := &r.Occurrences[occurrence]
+	for i := range r.Steps {
+		var end clock.Millis
+		for _, before := range r.Steps[i].After {
+			end = max(end, ends[before])
+		}
+		if o.Steps[i].Done < len(o.Steps[i].Tasks) {
+			end += r.Steps[i].Estimate
+		}
+		ends = append(ends, end)
+		longest = max(longest, end)
+	}
+	return longest
+}
+
 // Arrival is the baseline: work is done in the order of acceptance.
 type Arrival struct{}
 
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -208,7 +208,12 @@
 	if !ok {
 		return b.set.RetryMillis
 	}
-	return min(max(end-now+b.set.RetryMillis, b.set.RetryMillis), b.set.SlowRetryMillis)
+	most := b.set.SlowRetryMillis
+	if b.pool(w.pool).waits() {
+		// The room of a task that ends is wanted at once.
+		most = 2 * b.set.RetryMillis
+	}
+	return min(max(end-now, b.set.RetryMillis), most)
 }
 
 // wake is when the next pass is due.
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -85,7 +85,9 @@
 	}
 }
 
-// advance gives the orders that the cap allows.
+// advance gives the orders that the cap allows. No more machines are down at a
+// time than the deadline calls for, and those of pools without waiting work go
+// first, so that a wave takes little room while a pool needs it.
 func (b *Board[O, J]) advance(v *wave, now clock.Millis) {
 	var left []jobs.MachineID
 	for _, m := range v.Machines {
@@ -93,45 +95,69 @@
 			left = append(left, m)
 		}
 	}
+	pace := b.pace(v, now)
 	slices.SortStableFunc(left, func(x, y jobs.MachineID) int {
-		return cmp.Or(cmp.Compare(b.burden(y, v), b.burden(x, v)))
+		return cmp.Compare(b.burden(x), b.burden(y))
 	})
-	room := v.Cap - len(v.away)
-	ahead := v.Cap
+	room, ahead := pace-len(v.away), pace
 	for _, m := range left {
 		w := b.machines[m]
 		_, away := v.away[m]
-		if away && v.next[m] <= now {
-			// The answer to an earlier order was lost, or the machine was busy.
+		switch {
+		case v.next[m] > now:
+		case away:
+			// The answer to an earlier order was lost.
 			b.orderMaintenance(v, m, w, now)
-			continue
-		}
-		if away || v.next[m] > now {
-			continue
-		}
-		if room > 0 && b.clear(v, w, now) {
+		case room > 0 && b.clear(v, w, now):
 			room--
 			b.orderMaintenance(v, m, w, now)
-			continue
-		}
-		if w != nil && (ahead > 0 || w.held) {
+		case w != nil && ahead > 0:
 			ahead--
 			w.held = true
+		case w != nil:
+			w.held = false
 		}
 	}
 }
 
-// burden orders machines: those that are held and free go first.
-func (b *Board[O, J]) burden(m jobs.MachineID, _ *wave) int {
+// marginMillis is the time before a wave's deadline by which it is to be done.
+const marginMillis = 3 * clock.Second
+
+// pace is the number of machines that have to be down at a time for the wave
+// to end in time.
+func (b *Board[O, J]) pace(v *wave, now clock.Millis) int {
+	left := clock.Millis(len(v.Machines) - len(v.Begun))
+	each := b.set.DownMillis + b.set.HoldMillis
+	time := max(v.Deadline-marginMillis-now, each)
+	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.Cap)))
+}
+
+// burden orders machines for maintenance; small goes first: a machine without
+// a worker, then those of pools without waiting work that run little.
+func (b *Board[O, J]) burden(m jobs.MachineID) int {
 	w := b.machines[m]
 	if w == nil {
-		return 0
+		return -1
 	}
 	n := 0
-	if w.held {
+	for _, r := range w.runs {
+		if !r.step.Lasting {
+			n++
+		}
+	}
+	if b.pool(w.pool).waits() {
 		n += 1000
 	}
-	return n - len(w.runs)
+	if w.held {
+		// A machine that is held already has given its room up.
+		n -= 100
+	}
+	return max(n, 0)
+}
+
+// waits reports whether tasks of the pool wait for a worker.
+func (p *pool) waits() bool {
+	return slices.ContainsFunc(p.groups, func(g *group) bool { return len(g.waiting) > 0 && !g.rec.Status.Final() })
 }
 
 // clear reports whether a machine may go down now: what ends by itself has
@@ -149,7 +175,7 @@
 			if !late {
 				return false
 			}
-		case r.step.MayMiss > 0 && r.percent >= 100 && r.listed:
+		case r.step.MayMiss > 0 && r.atWork():
 			lost[groupKey{t.Job, t.Occurrence, t.Step}]++
 		}
 	}
@@ -158,32 +184,44 @@
 		if rec.Status.Final() {
 			continue
 		}
-		if b.missing(rec, k, w)+n > rec.Steps[k.step].MayMiss {
-			return false
+		missing := b.missing(rec, k)
+		if missing+n <= rec.Steps[k.step].MayMiss {
+			continue
 		}
+		if missing == 0 && n > 1 {
+			b.thin(w, k)
+		}
+		return false
 	}
 	return true
 }
 
-// missing counts the tasks of a lasting step that are not at work, those on
-// one worker left out.
-func (b *Board[O, J]) missing(rec *jobs.Record, k groupKey, but *worker) int {
+// thin stops one of several tasks of a lasting step on a worker, which together
+// are more than may be away, so that it starts on another worker first.
+func (b *Board[O, J]) thin(w *worker, k groupKey) {
+	for _, id := range sortedTasks(w.runs) {
+		r := w.runs[id]
+		if id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step && r.listed && !r.stopping {
+			b.stop(w, r, "too many of its step are on a machine to be maintained")
+			return
+		}
+	}
+}
+
+// atWork reports whether a lasting task serves its users.
+func (r *run) atWork() bool { return r.listed && r.percent >= 100 && !r.stopping }
+
+// missing counts the tasks of a lasting step that are not at work.
+func (b *Board[O, J]) missing(rec *jobs.Record, k groupKey) int {
 	n := 0
 	for i, t := range rec.Occurrences[k.occurrence].Steps[k.step].Tasks {
-		if t.Phase != jobs.PhaseAssigned {
-			n++
-			continue
-		}
-		if t.Worker == but.id {
-			continue
-		}
 		w := b.workers[t.Worker]
-		if w == nil {
+		if t.Phase != jobs.PhaseAssigned || w == nil || w.leaving {
 			n++
 			continue
 		}
 		r := w.runs[jobs.Task{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: i}]
-		if r == nil || !r.listed || r.percent < 100 || r.stopping {
+		if r == nil || !r.atWork() {
 			n++
 		}
 	}
@@ -205,7 +243,7 @@
 	a := absence{from: now}
 	if w != nil {
 		a.life = w.life
-		w.held = true
+		w.held, w.leaving = true, true
 	}
 	if old, ok := v.away[m]; ok && old.life != 0 {
 		a.life = old.life
@@ -241,6 +279,7 @@
 	switch a {
 	case AnswerDone:
 		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
+		b.out.Notes = append(b.out.Notes, Note{What: "maintenance-begun", Reason: string(o.Machine)})
 		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
 		if w := b.machines[o.Machine]; w != nil && w.life == v.away[o.Machine].life && !v.repeated[o.Machine] {
 			b.remove(w, "its machine is maintained", now)
@@ -249,10 +288,13 @@
 		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
 		delete(v.away, o.Machine)
 		if w := b.machines[o.Machine]; w != nil {
-			w.held = false
+			w.held, w.leaving = false, false
 		}
 	case AnswerLater:
 		delete(v.away, o.Machine)
+		if w := b.machines[o.Machine]; w != nil {
+			w.leaving = false
+		}
 		v.next[o.Machine] = now + orderRetryMillis
 	case AnswerUnknown:
 		v.next[o.Machine] = now + orderRetryMillis
