Let a machine that is off count as away for a bounded time only

Cause: two machines of the wave were off, had no worker that could come back, and took the wave's pace for good, so that the last two of 25 machines were never ordered (traced by printing the absences at the deadline). Change: an absence ends with a new life or after the time that a maintenance takes.

--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -71,15 +71,21 @@
 	}
 }
 
-// returned forgets the absence of machines whose worker has a new life.
+// returned forgets the absence of machines whose worker has a new life. One
+// without a known worker, such as a machine that is off, has none to come back;
+// the time that a maintenance takes bounds its absence.
 func (b *Board[O, J]) returned(v *wave, now clock.Millis) {
 	for m, a := range v.away {
-		w := b.machines[m]
-		if v.flying[m] || w == nil {
+		if v.flying[m] {
 			continue
 		}
-		since := max(a.from, b.began)
-		if (a.life != 0 && w.life != a.life) || (a.life == 0 && now >= since+2*b.set.DownMillis) {
+		w := b.machines[m]
+		back := w != nil && a.life != 0 && w.life != a.life
+		most := 2 * b.set.DownMillis
+		if a.life != 0 {
+			most += b.set.DownMillis
+		}
+		if back || now >= max(a.from, b.began)+most {
 			delete(v.away, m)
 		}
 	}
