Ask members that gave no answer last

Change: the rotation goes on from call to call, members that gave no answer come last for two seconds, and a try of a call is bounded by 600 ms.

--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -20,6 +20,8 @@
 	// roundWait separates two rounds over all members, as an election takes
 	// about a second.
 	roundWait clock.Millis = 100
+	// silentWait is how long a member that gave no answer is asked last.
+	silentWait = 2 * clock.Second
 )
 
 // Leader finds the leader of the control group and calls it.
@@ -30,11 +32,16 @@
 	mu      sync.Mutex
 	// last is the address that answered as the leader; empty when unknown.
 	last string
+	// turn counts the members asked in rotation; it only grows.
+	turn int
+	// silent holds the time before which an address that gave no answer is
+	// asked after all others only.
+	silent map[string]clock.Millis
 }
 
 // NewLeader returns a caller of the leader among the members.
 func NewLeader(c *Client, members []model.Member, clk clock.Clock) *Leader {
-	return &Leader{Members: members, client: c, clock: clk}
+	return &Leader{Members: members, client: c, clock: clk, silent: map[string]clock.Millis{}}
 }
 
 // Propose hands in a change and waits for its result. The change is handed in
@@ -77,15 +84,18 @@
 // A followed address takes no member's turn: the address may be wrong, and the
 // member whose turn it is may be the leader.
 func (l *Leader) call(ctx context.Context, op string, f func(context.Context, remote) error) error {
+	return l.search(ctx, op, attemptTimeout, f)
+}
+
+// search is call with a bound of its own on each try.
+func (l *Leader) search(ctx context.Context, op string, bound clock.Millis, f func(context.Context, remote) error) error {
 	next := l.known()
 	var last error
-	turn := 0
 	for n := 1; ; n++ {
 		if next == "" {
-			next = l.Members[turn%len(l.Members)].Address
-			turn++
+			next = l.rotate()
 		}
-		mapped, leader := l.attempt(ctx, op, next, f)
+		mapped, leader := l.attempt(ctx, op, next, bound, f)
 		if mapped == nil {
 			l.remember(next)
 			return nil
@@ -94,8 +104,9 @@
 		if mapped.Kind == KindInvalid {
 			return mapped
 		}
-		next = l.follow(leader, next)
-		if next == "" {
+		asked := next
+		next = l.follow(leader, asked)
+		if next == "" && l.known() == asked {
 			l.remember("")
 		}
 		// Waiting also bounds the rate at which two members that name each other
@@ -109,8 +120,8 @@
 	}
 }
 
-func (l *Leader) attempt(ctx context.Context, op, address string, f func(context.Context, remote) error) (*Error, model.Member) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout.Duration())
+func (l *Leader) attempt(ctx context.Context, op, address string, bound clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
+	ctx, cancel := context.WithTimeout(ctx, bound.Duration())
 	defer cancel()
 	err := f(ctx, l.client.remote(address))
 	if err == nil {
@@ -119,10 +130,40 @@
 	mapped, leader := fromTwirp(op, err)
 	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
 		l.client.http.CloseIdleConnections()
+		l.avoid(address)
 	}
 	return mapped, leader
 }
 
+// rotate returns the address of the member whose turn it is. Members that
+// lately gave no answer are passed over while there are others, so that a
+// frozen member does not use up the time of call after call.
+func (l *Leader) rotate() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for range l.Members {
+		m := l.Members[l.turn%len(l.Members)]
+		l.turn++
+		if l.silent[m.Address] <= now {
+			return m.Address
+		}
+	}
+	m := l.Members[l.turn%len(l.Members)]
+	l.turn++
+	return m.Address
+}
+
+// avoid notes that an address gave no answer.
+func (l *Leader) avoid(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent[address] = l.clock.Now() + silentWait
+	if l.last == address {
+		l.last = ""
+	}
+}
+
 // follow returns the address of the leader that a member named, or "" when it
 // named none or the one that was just asked.
 func (l *Leader) follow(leader model.Member, asked string) string {
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -72,6 +72,24 @@
 	assert.Equal(t, o.Status.Member, model.Process("c3"))
 }
 
+// TestLeaderAfterSilentMember guards against calls that each spend their whole
+// time on a frozen member that comes first in the rotation.
+func TestLeaderAfterSilentMember(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	members := []model.Member{{Address: l.Addr().String()}, {Address: serveMember(t, member{leads: true})}}
+	caller := NewLeader(NewClient("test", noStamps{}), members, clock.Real())
+	for n := range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err = caller.Status(ctx)
+		cancel()
+		if n == 1 {
+			assert.NilError(t, err)
+		}
+	}
+}
+
 // TestLeaderNamedByOwnAddress guards against a member that names the leader at
 // the address that the founder of the group used, which callers of another
 // availability zone may not reach: its own settings go first.
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"camphorridge/core/coord/runner"
+	"camphorridge/core/state/clock"
 	"camphorridge/io/proto/codec"
 	"camphorridge/io/proto/wirepb"
 )
@@ -40,6 +41,10 @@
 	return w, nil
 }
 
+// workTimeout bounds one try of a call. Such a call is idempotent and usually
+// takes one commit, so that a frozen leader is better left early.
+const workTimeout clock.Millis = 600
+
 // Work hands a call to the leader. An error of KindUnknown means that the call
 // may have been carried out; after one of another kind it was not.
 func (l *Leader) Work(ctx context.Context, c runner.Call) (runner.Answer, error) {
@@ -47,7 +52,7 @@
 	reached := false
 	req := codec.CallToWire(c)
 	req.Stamp = l.client.stamp()
-	err := l.call(ctx, "work", func(ctx context.Context, to remote) error {
+	err := l.search(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
 		resp, err := to.work.Handle(ctx, req)
 		if err != nil {
 			reached = reached || mayHaveRun(err)
