--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -25,13 +25,13 @@
 	idleMillis = clock.Second
 	// comeBackMillis is when a caller may come back that found no leader.
 	comeBackMillis clock.Millis = 500
-	maintainers                 = 4
-	maintainRing                = 256
-	// maintainTimeout bounds one order to the platform, and maintainAge is how
-	// old a committed order may be when it is sent: an older one may meet the
-	// orders of a later leader.
-	maintainTimeout = 2 * clock.Second
-	maintainAge     = clock.Second
+	actors                      = 4
+	actionRing                  = 256
+	// actionTimeout bounds one action of the platform, and actionAge is how old
+	// a committed action may be when it is sent: an older one may meet those of
+	// a later leader.
+	actionTimeout = 2 * clock.Second
+	actionAge     = clock.Second
 )
 
 // Runner is the duty. Its methods may be called from any goroutine.
@@ -47,13 +47,13 @@
 	// notes takes explanations of decisions; it must not wait.
 	notes func([]sched.Note)
 
-	in       *ring.Ring[input]
-	commits  *ring.Ring[*batch]
-	maintain *ring.Ring[order]
-	done     chan struct{}
-	ended    chan struct{}
-	once     sync.Once
-	counts   atomic.Pointer[Counts]
+	in      *ring.Ring[input]
+	commits *ring.Ring[*batch]
+	actions *ring.Ring[action]
+	done    chan struct{}
+	ended   chan struct{}
+	once    sync.Once
+	counts  atomic.Pointer[Counts]
 
 	// What follows is touched by the duty's goroutine alone.
 	board *sched.Board[O, J]
@@ -84,22 +84,22 @@
 	err   error
 }
 
-// order is a maintenance order that is committed and may be sent.
-type order struct {
-	maintain sched.Maintain
-	term     uint64
-	at       clock.Millis
+// action is an action of the platform that may be sent.
+type action struct {
+	sched.Action
+	term uint64
+	at   clock.Millis
 }
 
 // input is one value in the duty's ring; one part is set.
 type input struct {
-	call       *Call
-	answer     chan Answer
-	beat       *sched.Beat
-	reply      chan beatAnswer
-	leave      *leave
-	committed  *batch
-	maintained *maintained
+	call      *Call
+	answer    chan Answer
+	beat      *sched.Beat
+	reply     chan beatAnswer
+	leave     *leave
+	committed *batch
+	acted     *acted
 }
 
 type leave struct {
@@ -107,9 +107,9 @@
 	life   jobs.Life
 }
 
-type maintained struct {
-	order  order
-	answer sched.Answer
+type acted struct {
+	action  action
+	outcome sched.Outcome
 }
 
 // batch is what waits for one commit.
@@ -122,8 +122,7 @@
 	since   clock.Millis
 	answers []callAnswer
 	orders  []beatOrders
-	// maintain holds orders to the platform.
-	maintain []sched.Maintain
+	actions []sched.Action
 
 	// state and err are the outcome.
 	state *jobs.State
@@ -157,7 +156,7 @@
 	r := &Runner[G, M, O, J]{
 		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Order, judge: p.Judge, set: p.Settings,
 		clock: p.Clock, notes: p.Notes,
-		in: ring.New[input](ringSize), commits: ring.New[*batch](1), maintain: ring.New[order](maintainRing),
+		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[action](actionRing),
 		done: make(chan struct{}), ended: make(chan struct{}), waiters: map[jobs.WorkerID]waiter{},
 	}
 	r.counts.Store(&Counts{})
@@ -230,8 +229,8 @@
 func (r *Runner[G, M, O, J]) Run() error {
 	defer close(r.ended)
 	go r.runCommits()
-	for range maintainers {
-		go r.runMaintain()
+	for range actors {
+		go r.runActions()
 	}
 	buf := make([]input, 0, ringSize)
 	for {
@@ -310,7 +309,7 @@
 	}
 	p := r.board.Pass(now)
 	r.next.ops = append(r.next.ops, p.Ops...)
-	r.next.maintain = append(r.next.maintain, p.Maintain...)
+	r.next.actions = append(r.next.actions, p.Actions...)
 	for _, o := range p.Orders {
 		w, ok := r.waiters[o.Worker]
 		if !ok {
@@ -355,7 +354,7 @@
 		return
 	}
 	b := &r.next
-	if len(b.maintain) > 0 || (len(b.orders) > 0 && now-r.confirmed > confirmMillis) {
+	if len(b.actions) > 0 || (len(b.orders) > 0 && now-r.confirmed > confirmMillis) {
 		b.confirm = true
 	}
 	if len(b.ops) == 0 && !b.confirm {
@@ -392,9 +391,9 @@
 		}
 		o.waiter.reply <- beatAnswer{reply: Reply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
 	}
-	for _, m := range b.maintain {
-		if !r.maintain.Put(order{maintain: m, term: r.term, at: now}) {
-			r.board.Maintained(m, sched.AnswerLater, now)
+	for _, a := range b.actions {
+		if !r.actions.Put(action{Action: a, term: r.term, at: now}) {
+			r.board.Acted(a, sched.Outcome{Answer: sched.AnswerLater}, now)
 		}
 	}
 }
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -38,9 +38,9 @@
 		if r.board != nil {
 			r.board.Leave(in.leave.worker, in.leave.life, now)
 		}
-	case in.maintained != nil:
-		if r.board != nil && in.maintained.order.term == r.term {
-			r.board.Maintained(in.maintained.order.maintain, in.maintained.answer, now)
+	case in.acted != nil:
+		if r.board != nil && in.acted.action.term == r.term {
+			r.board.Acted(in.acted.action.Action, in.acted.outcome, now)
 		}
 	}
 }
@@ -174,13 +174,13 @@
 	return best, jobs.ID(path[len(best.Prefix):]), true
 }
 
-// runMaintain sends committed orders to the platform, several at a time.
-func (r *Runner[G, M, O, J]) runMaintain() {
+// runActions sends actions to the platform, several at a time.
+func (r *Runner[G, M, O, J]) runActions() {
 	for {
 		select {
-		case o := <-r.maintain.C():
-			m := &maintained{order: o, answer: r.sendMaintain(o)}
-			if !r.in.PutWait(input{maintained: m}, r.ended) {
+		case a := <-r.actions.C():
+			done := &acted{action: a, outcome: r.act(a)}
+			if !r.in.PutWait(input{acted: done}, r.ended) {
 				return
 			}
 		case <-r.ended:
@@ -189,11 +189,11 @@
 	}
 }
 
-func (r *Runner[G, M, O, J]) sendMaintain(o order) sched.Answer {
-	ctx, cancel := context.WithTimeout(context.Background(), maintainTimeout.Duration())
+func (r *Runner[G, M, O, J]) act(a action) sched.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), actionTimeout.Duration())
 	defer cancel()
-	if term, ok := r.group.Leads(); !ok || term != o.term || r.clock.Now()-o.at > maintainAge {
-		return sched.AnswerLater
+	if term, ok := r.group.Leads(); !ok || term != a.term || r.clock.Now()-a.at > actionAge {
+		return sched.Outcome{Answer: sched.AnswerLater}
 	}
-	return r.machines.Maintain(ctx, o.maintain, r.Name, o.term)
+	return r.machines.Do(ctx, a.Action, r.Name, a.term)
 }
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -58,9 +58,8 @@
 
 // Machines is the platform's interface to machines.
 type Machines interface {
-	// Maintain orders the maintenance of a machine in the name of holder, under
-	// a fencing token.
-	Maintain(ctx context.Context, o sched.Maintain, holder string, token uint64) sched.Answer
+	// Do carries an action out in the name of holder, under a fencing token.
+	Do(ctx context.Context, a sched.Action, holder string, token uint64) sched.Outcome
 }
 
 // CallKind tells calls apart.
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -34,6 +34,7 @@
 	b.settle(w, h, now)
 	ack := b.ends(w, h, now)
 	b.listed(w, h, now)
+	b.arrived(w)
 	w.beat = &waiting{ack: ack, pressed: len(h.Ends) > 0}
 	w.until = max(w.until, h.Received+b.longest())
 	b.answerRuns(w, now)
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -31,6 +31,7 @@
 	// began is the time at which the leader's term began here.
 	began clock.Millis
 	waves map[int]*wave
+	fleet machines
 	// later holds the occurrences that are not due yet.
 	later []later
 	out   Plan
@@ -66,6 +67,8 @@
 	// the latest of them.
 	streak     int
 	lastFailed jobs.ID
+	// idle is the time since which the worker runs nothing.
+	idle clock.Millis
 	// weight is the evidence against the worker; it is set aside until aside.
 	weight float64
 	aside  clock.Millis
@@ -114,7 +117,7 @@
 		set: set, order: order, judge: judge, State: s, began: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
-		ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
+		fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
 	}
 	b.readConfig()
 	for _, r := range s.Jobs {
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -18,6 +18,7 @@
 	for _, name := range slices.Sorted(maps.Keys(b.pools)) {
 		b.passPool(b.pools[name], now)
 	}
+	b.surge(now)
 	b.answer(now)
 	plan := b.out
 	plan.Wake = b.wake(now)
@@ -116,7 +117,7 @@
 
 // may reports whether a worker may run a task of the group, room aside.
 func (b *Board[O, J]) may(w *worker, g *group, now clock.Millis) bool {
-	if w.draining || w.held || w.aside > now || w.beat == nil {
+	if w.draining || w.held || w.leaving || w.aside > now || w.beat == nil {
 		return false
 	}
 	if g.step.Label != "" && !slices.Contains(w.labels, g.step.Label) {
@@ -230,6 +231,9 @@
 	for _, l := range b.later {
 		at = min(at, l.due)
 	}
+	if b.fleet.next > now {
+		at = min(at, b.fleet.next)
+	}
 	if t, ok := b.maintenanceDue(now); ok {
 		at = min(at, t)
 	}
--- /dev/null
+++ b/core/state/sched/surge.go
@@ -0,0 +1,309 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// Times of moves.
+const (
+	// surgePeriod separates two looks at the load of the pools.
+	surgePeriod clock.Millis = 200
+	// listRetry separates two readings of the list of machines when the first
+	// failed, and listPeriod two that succeeded.
+	listRetry  = clock.Second
+	listPeriod = 20 * clock.Second
+	// moveLost is how long a move may take until the machine is looked for
+	// again.
+	moveLost = 5 * clock.Second
+	// moveRetry keeps a machine from being tried again at once after a refusal.
+	moveRetry = clock.Second
+)
+
+// machines is what is known of the machines beside their workers.
+type machines struct {
+	// standby holds the machines that are off, by the standby pool they are in.
+	standby map[jobs.MachineID]jobs.PoolName
+	// moves holds the machines on their way, and spent those that refused a
+	// move, until a time.
+	moves map[jobs.MachineID]move
+	spent map[jobs.MachineID]clock.Millis
+	// room is the size of a machine by its pool.
+	room jobs.Size
+	// listing is set while a list is on its way; listed is when the last came.
+	listing bool
+	asked   clock.Millis
+	listed  clock.Millis
+	// next is the time of the next look.
+	next clock.Millis
+}
+
+// move is a machine on its way to a pool.
+type move struct {
+	to jobs.PoolName
+	// life is that of the machine's worker at the order; 0 for none.
+	life jobs.Life
+	at   clock.Millis
+}
+
+func newMachines() machines {
+	return machines{
+		standby: map[jobs.MachineID]jobs.PoolName{}, moves: map[jobs.MachineID]move{}, spent: map[jobs.MachineID]clock.Millis{},
+	}
+}
+
+// demand is the load of one pool.
+type demand struct {
+	name jobs.PoolName
+	// have counts the machines of the pool and those on their way to it, and
+	// want is the number that starts its waiting work in time.
+	have int
+	want int
+	// idle lists the machines that run nothing, the longest first.
+	idle []*worker
+}
+
+// surge moves machines to pools whose waiting work does not start in time:
+// those that are off, and idle ones of other pools. Machines that stay idle go
+// off. It answers loads that rise to several times their mean for seconds, by
+// turns, while a move takes about a second and a half.
+func (b *Board[O, J]) surge(now clock.Millis) {
+	if b.set.SurgeMillis == 0 || now < b.fleet.next || now < b.began+b.set.QuietMillis {
+		return
+	}
+	b.fleet.next = now + surgePeriod
+	standby := b.standbyPool()
+	if standby == "" || !b.list(now) {
+		return
+	}
+	for m, v := range b.fleet.moves {
+		if now-v.at > moveLost {
+			delete(b.fleet.moves, m)
+		}
+	}
+	loads := b.loads(now)
+	for _, d := range loads {
+		for n := d.want - d.have; n > 0; n-- {
+			if !b.bring(d, loads, now) {
+				break
+			}
+		}
+	}
+	b.dismiss(loads, standby, now)
+}
+
+// standbyPool names the pool whose machines are off; empty for none.
+func (b *Board[O, J]) standbyPool() jobs.PoolName {
+	for _, p := range b.State.Config.Pools {
+		if p.Standby {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+// list asks for the list of machines when it is old, and reports whether one
+// has come in this term.
+func (b *Board[O, J]) list(now clock.Millis) bool {
+	f := &b.fleet
+	wait := listPeriod
+	if f.listed == 0 {
+		wait = listRetry
+	}
+	if !f.listing && (f.asked == 0 || now-f.asked > wait) {
+		f.listing, f.asked = true, now
+		b.out.Actions = append(b.out.Actions, Action{Kind: ActionList})
+	}
+	return f.listed != 0
+}
+
+// machinesListed takes the list of machines.
+func (b *Board[O, J]) machinesListed(o Outcome, now clock.Millis) {
+	f := &b.fleet
+	f.listing = false
+	if o.Answer != AnswerDone {
+		return
+	}
+	f.listed = now
+	off := map[jobs.PoolName]bool{}
+	for _, p := range b.State.Config.Pools {
+		off[p.Name] = p.Standby
+	}
+	clear(f.standby)
+	for _, m := range o.Machines {
+		if f.room.MilliCores < m.Room.MilliCores {
+			f.room = m.Room
+		}
+		if _, moving := f.moves[m.ID]; off[m.Pool] && m.Up && !moving {
+			f.standby[m.ID] = m.Pool
+		}
+	}
+}
+
+// loads measures the pools that have queues, those with the most lacking
+// machines first.
+func (b *Board[O, J]) loads(now clock.Millis) []*demand {
+	by := map[jobs.PoolName]*demand{}
+	for _, p := range b.State.Config.Pools {
+		if !p.Standby {
+			by[p.Name] = &demand{name: p.Name}
+		}
+	}
+	busy := map[jobs.PoolName]int{}
+	for _, id := range slices.Sorted(maps.Keys(b.workers)) {
+		w := b.workers[id]
+		d := by[w.pool]
+		if d == nil || !w.known || w.draining || w.leaving || w.until < now {
+			continue
+		}
+		d.have++
+		if w.held || w.aside > now {
+			d.have--
+			continue
+		}
+		busy[w.pool] += w.used.MilliCores
+		if len(w.runs)+len(w.strays) == 0 {
+			if w.idle == 0 {
+				w.idle = now
+			}
+			d.idle = append(d.idle, w)
+		} else {
+			w.idle = 0
+		}
+	}
+	for _, v := range b.fleet.moves {
+		if d := by[v.to]; d != nil {
+			d.have++
+		}
+	}
+	each := max(b.fleet.room.MilliCores, 1)
+	for name, d := range by {
+		need := busy[name] + int(b.pool(name).work(now)/b.set.SurgeMillis)
+		d.want = (need + each - 1) / each
+		slices.SortStableFunc(d.idle, func(x, y *worker) int { return cmp.Compare(x.idle, y.idle) })
+	}
+	return slices.SortedFunc(maps.Values(by), func(x, y *demand) int {
+		return cmp.Or(cmp.Compare(y.want-y.have, x.want-x.have), cmp.Compare(x.name, y.name))
+	})
+}
+
+// work sums the waiting work of a pool that can still be on time, in
+// thousandths of a processor times milliseconds.
+func (p *pool) work(now clock.Millis) clock.Millis {
+	sum := clock.Millis(0)
+	for _, g := range p.groups {
+		if g.step.Filler || g.rec.Status.Final() {
+			continue
+		}
+		length := g.step.Estimate
+		if g.step.Lasting {
+			// A lasting task holds its room for good.
+			length = clock.Second
+		}
+		sum += clock.Millis(len(g.waiting)*g.step.Need.MilliCores) * length
+	}
+	return sum
+}
+
+// bring moves one machine to a pool: one that is off, or else the one that is
+// idle for longest in a pool with more than it needs.
+func (b *Board[O, J]) bring(d *demand, loads []*demand, now clock.Millis) bool {
+	for _, m := range slices.Sorted(maps.Keys(b.fleet.standby)) {
+		if b.fleet.spent[m] <= now && !b.inWave(m) {
+			delete(b.fleet.standby, m)
+			b.move(m, 0, d, now)
+			return true
+		}
+	}
+	for i := len(loads) - 1; i >= 0; i-- {
+		from := loads[i]
+		if from == d || from.have-from.want <= b.set.Reserve {
+			continue
+		}
+		for k, w := range from.idle {
+			if b.fleet.spent[w.machine] > now || w.machine == "" {
+				continue
+			}
+			from.idle = slices.Delete(from.idle, k, k+1)
+			from.have--
+			w.leaving = true
+			b.move(w.machine, w.life, d, now)
+			return true
+		}
+	}
+	return false
+}
+
+// dismiss sends machines that stay idle to the standby pool.
+func (b *Board[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
+	off := &demand{name: standby}
+	for _, d := range loads {
+		for _, w := range d.idle {
+			if w.leaving || w.machine == "" || d.have-d.want <= b.set.Reserve || now-w.idle < b.set.IdleMillis || b.fleet.spent[w.machine] > now {
+				continue
+			}
+			d.have--
+			w.leaving = true
+			b.move(w.machine, w.life, off, now)
+		}
+	}
+}
+
+// inWave reports whether a wave still has to maintain the machine: it is left
+// where it is until then.
+func (b *Board[O, J]) inWave(m jobs.MachineID) bool {
+	for _, v := range b.waves {
+		if _, away := v.away[m]; away || v.flying[m] {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Board[O, J]) move(m jobs.MachineID, life jobs.Life, to *demand, now clock.Millis) {
+	to.have++
+	b.fleet.moves[m] = move{to: to.name, life: life, at: now}
+	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
+}
+
+// moved takes the platform's answer to a move.
+func (b *Board[O, J]) moved(a Action, answer Answer, now clock.Millis) {
+	v, ok := b.fleet.moves[a.Machine]
+	if !ok || v.to != a.Pool {
+		return
+	}
+	w := b.machines[a.Machine]
+	same := w != nil && w.life == v.life
+	switch answer {
+	case AnswerDone:
+		b.out.Notes = append(b.out.Notes, Note{What: "machine-moved", Reason: string(a.Machine) + " to " + string(a.Pool)})
+		if same {
+			b.remove(w, "its machine is moved", now)
+		}
+		if a.Pool == b.standbyPool() {
+			delete(b.fleet.moves, a.Machine)
+			b.fleet.standby[a.Machine] = a.Pool
+			b.fleet.spent[a.Machine] = now + b.set.MoveMillis
+		}
+	case AnswerUnknown:
+		b.fleet.spent[a.Machine] = now + moveLost
+	default:
+		delete(b.fleet.moves, a.Machine)
+		b.fleet.spent[a.Machine] = now + moveRetry
+		if same {
+			w.leaving = false
+		}
+	}
+}
+
+// arrived notes that a moved machine has a worker again.
+func (b *Board[O, J]) arrived(w *worker) {
+	if v, ok := b.fleet.moves[w.machine]; ok && v.life != w.life && v.to == w.pool {
+		delete(b.fleet.moves, w.machine)
+	}
+	delete(b.fleet.standby, w.machine)
+}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -24,6 +24,17 @@
 	QuietMillis clock.Millis
 	// DownMillis is how long the maintenance of a machine takes.
 	DownMillis clock.Millis
+	// SurgeMillis is the time within which the waiting work of a pool is to be
+	// started; machines are moved to a pool that needs longer. 0 turns moves
+	// off.
+	SurgeMillis clock.Millis
+	// MoveMillis is how long a move of a machine takes.
+	MoveMillis clock.Millis
+	// IdleMillis is how long a machine runs nothing before it goes to the
+	// standby pool.
+	IdleMillis clock.Millis
+	// Reserve is the number of machines beyond its need that a pool keeps.
+	Reserve int
 	// AsideMillis is how long a worker that fails its tasks gets no others
 	// before it is tried again.
 	AsideMillis clock.Millis
@@ -37,6 +48,7 @@
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, HoldMillis: 700, RetryMillis: 20, SlowRetryMillis: 250,
 		QuietMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
+		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
 	}
 }
@@ -124,18 +136,49 @@
 	Lease bool
 }
 
-// Maintain is an order to the platform to maintain a machine.
-type Maintain struct {
-	Wave    int
+// ActionKind tells actions apart.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// ActionMaintain orders the maintenance of a machine in a wave.
+	ActionMaintain ActionKind = iota
+	// ActionMove moves a machine to a pool; what runs on it ends.
+	ActionMove
+	// ActionList asks for the machines of all pools.
+	ActionList
+)
+
+// Action is what the platform is to do.
+type Action struct {
+	Kind    ActionKind
 	Machine jobs.MachineID
+	Wave    int
+	Pool    jobs.PoolName
+}
+
+// Machine is a machine as the platform lists it.
+type Machine struct {
+	ID   jobs.MachineID
+	Pool jobs.PoolName
+	// Up is false while the machine moves, is maintained or is down.
+	Up   bool
+	Room jobs.Size
+}
+
+// Outcome is the platform's answer to an action.
+type Outcome struct {
+	Answer Answer
+	// Machines answers ActionList.
+	Machines []Machine
 }
 
 // Plan is the outcome of a pass.
 type Plan struct {
 	// Ops have to be committed before anything else of the plan takes effect.
-	Ops      []jobs.Op
-	Orders   []Orders
-	Maintain []Maintain
+	Ops     []jobs.Op
+	Orders  []Orders
+	Actions []Action
 	// Notes explain the decisions of the pass.
 	Notes []Note
 	// Wake is when the next pass is due if nothing happens before.
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -257,7 +257,7 @@
 	v.away[m] = a
 	v.flying[m] = true
 	v.next[m] = now + orderRetryMillis
-	b.out.Maintain = append(b.out.Maintain, Maintain{Wave: v.Number, Machine: m})
+	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
 }
 
 // Answer is what the platform said to a maintenance order.
@@ -275,8 +275,19 @@
 	AnswerUnknown
 )
 
-// Maintained takes the platform's answer to an order.
-func (b *Board[O, J]) Maintained(o Maintain, a Answer, now clock.Millis) {
+// Acted takes the platform's answer to an action.
+func (b *Board[O, J]) Acted(a Action, o Outcome, now clock.Millis) {
+	switch a.Kind {
+	case ActionMaintain:
+		b.maintained(a, o.Answer, now)
+	case ActionMove:
+		b.moved(a, o.Answer, now)
+	case ActionList:
+		b.machinesListed(o, now)
+	}
+}
+
+func (b *Board[O, J]) maintained(o Action, a Answer, now clock.Millis) {
 	v := b.waves[o.Wave]
 	if v == nil {
 		return
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -46,8 +46,8 @@
 // noMachines stands for a platform without an interface to machines.
 type noMachines struct{}
 
-func (noMachines) Maintain(context.Context, sched.Maintain, string, uint64) sched.Answer {
-	return sched.AnswerLater
+func (noMachines) Do(context.Context, sched.Action, string, uint64) sched.Outcome {
+	return sched.Outcome{Answer: sched.AnswerLater}
 }
 
 // serveJobs adds the runner and the server for workers and operators.
