--- /dev/null
+++ b/core/state/sched/sched_test.go
@@ -0,0 +1,340 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
+)
+
+// The schedules that CI plays, and the steps of each with troubles and after
+// them.
+const (
+	schedules    = 10_000
+	troubleSteps = 500
+	calmSteps    = 2500
+)
+
+// TestSchedules plays seeded orders of submissions, resends, ends, cancels,
+// lost and late messages, crashes, cuts, drains and changes of leader with a
+// stale one beside it. It guards against a task that runs twice at a time,
+// starts after its good end or its last attempt, or starts before its
+// dependencies or its time, and against a job that never ends.
+func TestSchedules(t *testing.T) {
+	n := schedules
+	if testing.Short() {
+		n /= 20
+	}
+	for seed := range uint64(n) {
+		w := newWorld(seed)
+		for range troubleSteps {
+			w.step()
+		}
+		w.settle()
+		for i := 0; i < calmSteps && !w.ended(); i++ {
+			w.step()
+		}
+		if w.err == nil && !w.ended() {
+			w.failf("a job has not ended")
+		}
+		assert.NilError(t, w.err, "seed %d", seed)
+	}
+}
+
+// settle ends the troubles: every worker is replaced by a sound one.
+func (w *world) settle() {
+	w.calm = true
+	for n, x := range w.workers {
+		if x.bad || x.stuck || x.draining {
+			x.down = true
+			w.workers[n] = w.newInstance(n)
+		}
+	}
+	for id, r := range w.committed.Jobs {
+		if r.Steps[0].Lasting {
+			w.lead.board.Cancel(id, w.now)
+		}
+	}
+}
+
+// ended reports whether every job has a final status and nothing runs.
+func (w *world) ended() bool {
+	for _, r := range w.committed.Jobs {
+		if !r.Status.Final() {
+			return false
+		}
+	}
+	for _, x := range w.workers {
+		if len(x.runs) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// rig is a board with one pool, which a test drives by hand.
+type rig struct {
+	*testBoard
+	now clock.Millis
+	seq int64
+}
+
+func newRig(set Settings) *rig {
+	s := jobs.New()
+	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
+		Version: 1, Pools: []jobs.Pool{{Name: "p"}, {Name: "other"}, {Name: "off", Standby: true}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500}},
+	}}}, 1000)
+	return &rig{testBoard: NewBoard(set, EarliestObjective{}, place.Peers{Least: 3}, s, 1000), now: 1000}
+}
+
+// hear passes a heartbeat of a worker with 16 processors, which runs what is
+// given.
+func (r *rig) hear(id string, life jobs.Life, running []Running, ends ...End) {
+	r.seq++
+	r.Beat(Beat{
+		Worker: jobs.WorkerID(id), Life: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
+		Seq: r.seq, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, Received: r.now,
+	}, r.now)
+}
+
+func (r *rig) submit(id string, steps ...jobs.Step) {
+	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
+}
+
+// orders returns the orders for a worker of a plan.
+func orders(p Plan, id string) Orders {
+	for _, o := range p.Orders {
+		if o.Worker == jobs.WorkerID(id) {
+			return o
+		}
+	}
+	return Orders{}
+}
+
+func actions(p Plan, kind ActionKind) []Action {
+	var out []Action
+	for _, a := range p.Actions {
+		if a.Kind == kind {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+var small = jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
+
+// TestLostStartIsRepeated guards against a task that waits forever because the
+// answer that ordered its start was lost.
+func TestLostStartIsRepeated(t *testing.T) {
+	r := newRig(Defaults())
+	r.submit("a", small)
+	r.hear("w1", 1, nil)
+	first := orders(r.Pass(r.now), "w1")
+	assert.Equal(t, len(first.Starts), 1)
+	r.now += 100
+	r.hear("w1", 1, nil)
+	again := r.Pass(r.now)
+	assert.DeepEqual(t, orders(again, "w1").Starts, first.Starts)
+	assert.Equal(t, len(again.Ops), 0)
+}
+
+// TestNewLifeFreesTasks guards against tasks that wait for a lease of a worker
+// that has started anew.
+func TestNewLifeFreesTasks(t *testing.T) {
+	r := newRig(Defaults())
+	r.submit("a", small)
+	r.hear("w1", 1, nil)
+	r.Pass(r.now)
+	r.now += 100
+	r.hear("w1", 2, nil)
+	o := orders(r.Pass(r.now), "w1")
+	assert.Equal(t, len(o.Starts), 1)
+	assert.Equal(t, o.Starts[0].Run, 2)
+}
+
+// TestEarlierLifeIsNotTaken guards against work for a worker that has crashed,
+// when a heartbeat of its earlier life comes late.
+func TestEarlierLifeIsNotTaken(t *testing.T) {
+	r := newRig(Defaults())
+	r.hear("w1", 2, nil)
+	r.Pass(r.now)
+	r.submit("a", small)
+	r.seq++
+	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Life: 1, Machine: "m-w1", Pool: "p", Seq: 99, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	r.Leave("w1", 0, r.now)
+	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Life: 2, Machine: "m-w1", Pool: "p", Seq: 100, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+}
+
+// TestPoisonSetsNoWorkerAside guards against one job that can never be done
+// emptying its pool: its failures count once against each worker.
+func TestPoisonSetsNoWorkerAside(t *testing.T) {
+	r := newRig(Defaults())
+	poison := small
+	poison.Count = 8
+	r.submit("bad", poison)
+	r.hear("w1", 1, nil)
+	o := orders(r.Pass(r.now), "w1")
+	assert.Equal(t, len(o.Starts), 8)
+	r.now += 400
+	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.Pass(r.now)
+	r.submit("good", small)
+	r.now += 100
+	r.hear("w1", 1, nil)
+	var started []jobs.ID
+	for _, s := range orders(r.Pass(r.now), "w1").Starts {
+		started = append(started, s.Task.Job)
+	}
+	assert.DeepEqual(t, started, []jobs.ID{"good"})
+}
+
+func endsOf(o Orders, how jobs.How) []End {
+	var out []End
+	for n, s := range o.Starts {
+		out = append(out, End{Number: int64(n + 1), Task: s.Task, Run: s.Run, How: how})
+	}
+	return out
+}
+
+// TestBrokenWorkerIsSetAside guards against a worker that fails everything and
+// spends the attempts of job after job.
+func TestBrokenWorkerIsSetAside(t *testing.T) {
+	r := newRig(Defaults())
+	for _, id := range []string{"a", "b", "c"} {
+		r.submit(id, small)
+	}
+	r.hear("w1", 1, nil)
+	o := orders(r.Pass(r.now), "w1")
+	assert.Equal(t, len(o.Starts), 3)
+	r.now += 400
+	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.Pass(r.now)
+	r.submit("d", small)
+	r.now += 800
+	r.hear("w1", 1, nil)
+	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 0)
+	r.hear("w2", 1, nil)
+	assert.Equal(t, len(orders(r.Pass(r.now), "w2").Starts), 4)
+}
+
+// TestWaveKeepsAvailability guards against a wave that ends two tasks of a
+// lasting step at a time although one may be away: orders given in one pass
+// count before the platform has answered.
+func TestWaveKeepsAvailability(t *testing.T) {
+	r := newRig(Defaults())
+	step := jobs.Step{Count: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1}
+	r.submit("serve", step)
+	r.hear("w1", 1, nil)
+	r.hear("w2", 1, nil)
+	p := r.Pass(r.now)
+	r.now += r.set.QuietMillis + 100
+	for _, id := range []string{"w1", "w2"} {
+		s := orders(p, id).Starts[0]
+		r.hear(id, 1, []Running{{Task: s.Task, Run: s.Run, Percent: 100}})
+	}
+	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, Cap: 2, Deadline: 5000}, r.now)
+	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 1)
+}
+
+// TestWavePassesMachinesThatAreOff guards against a wave that waits for the
+// return of machines without a worker.
+func TestWavePassesMachinesThatAreOff(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, Cap: 1, Deadline: 30_000}, r.now)
+	first := actions(r.Pass(r.now), ActionMaintain)
+	assert.Equal(t, len(first), 1)
+	r.Acted(first[0], Outcome{Answer: AnswerDone}, r.now)
+	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 0)
+	r.now += 3 * r.set.DownMillis
+	second := actions(r.Pass(r.now), ActionMaintain)
+	assert.Equal(t, len(second), 1)
+	r.Acted(second[0], Outcome{Answer: AnswerDone}, r.now)
+	assert.Assert(t, r.State.Waves[1].Completed())
+}
+
+// TestRepeatedMaintenanceKeepsNewWorker guards against the loss of a worker
+// that came back before the platform answered a repeated order.
+func TestRepeatedMaintenanceKeepsNewWorker(t *testing.T) {
+	r := newRig(Defaults())
+	r.hear("w1", 1, nil)
+	r.Pass(r.now)
+	r.now += r.set.QuietMillis
+	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, Cap: 1, Deadline: 30_000}, r.now)
+	order := actions(r.Pass(r.now), ActionMaintain)[0]
+	r.Acted(order, Outcome{Answer: AnswerUnknown}, r.now)
+	r.now += 2500
+	r.hear("w1", 2, nil)
+	again := actions(r.Pass(r.now), ActionMaintain)
+	assert.Equal(t, len(again), 1)
+	r.Acted(again[0], Outcome{Answer: AnswerDone}, r.now)
+	r.now += 100
+	r.submit("a", small)
+	r.hear("w1", 2, nil)
+	r.Pass(r.now)
+	assert.Assert(t, r.workers["w1"] != nil)
+}
+
+// TestSurgeBringsMachines plays a pool that is asked for more than it holds:
+// callers get their work started in time only with machines that were off.
+func TestSurgeBringsMachines(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.hear("w1", 1, nil)
+	p := r.Pass(r.now)
+	assert.Equal(t, len(actions(p, ActionList)), 1)
+	r.Acted(actions(p, ActionList)[0], Outcome{Machines: []Machine{
+		{ID: "s1", Pool: "off", Up: true, Room: jobs.Size{MilliCores: 16_000}},
+		{ID: "s2", Pool: "off", Up: true}, {ID: "s3", Pool: "off"}, {ID: "m-w1", Pool: "p", Up: true},
+	}}, r.now)
+	many := small
+	many.Count, many.Estimate = 100, 1000
+	r.submit("surge", many)
+	r.now += surgePeriod
+	moves := actions(r.Pass(r.now), ActionMove)
+	assert.DeepEqual(t, moves, []Action{{Kind: ActionMove, Machine: "s1", Pool: "p"}, {Kind: ActionMove, Machine: "s2", Pool: "p"}})
+}
+
+// TestIdleMachinesGoOff guards against machines that are paid for while they
+// run nothing, beyond the reserve.
+func TestIdleMachinesGoOff(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.fleet.listed, r.fleet.asked = r.now, r.now
+	ids := []string{"w1", "w2", "w3", "w4"}
+	for range 4 {
+		for _, id := range ids {
+			r.hear(id, 1, nil)
+		}
+		p := r.Pass(r.now)
+		if moves := actions(p, ActionMove); len(moves) > 0 {
+			assert.Equal(t, len(moves), 4-r.set.Reserve)
+			assert.Equal(t, moves[0].Pool, jobs.PoolName("off"))
+			return
+		}
+		r.now += clock.Second
+	}
+	t.Fatal("no machine was moved")
+}
+
+// TestLateWorkGoesLast guards against a surge in which every job is started
+// just too late: work that will miss its objective waits for work that can
+// still meet its.
+func TestLateWorkGoesLast(t *testing.T) {
+	r := newRig(Defaults())
+	wide := small
+	wide.Count, wide.Need.MilliCores = 4, 4000
+	r.submit("old", wide)
+	r.now += 3600
+	r.submit("new", wide)
+	r.hear("w1", 1, nil)
+	starts := orders(r.Pass(r.now), "w1").Starts
+	assert.Equal(t, len(starts), 4)
+	for _, s := range starts {
+		assert.Equal(t, s.Task.Job, jobs.ID("new"))
+	}
+}
