--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -33,6 +33,8 @@
 // Asker asks a control process who it is.
 type Asker interface {
 	Hello(ctx context.Context, m model.Member) (Hello, error)
+	// Join asks the group that the members belong to for membership of self.
+	Join(ctx context.Context, members []model.Member, self raft.Member) error
 }
 
 // Plan is the decision of a process with an empty data folder.
@@ -65,7 +67,10 @@
 		}
 		return PlanJoin, members
 	}
-	if len(members) < len(configured) {
+	// A process that is not configured belongs to no first member list; it joins
+	// the group that the others form.
+	founder := slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == self })
+	if len(members) < len(configured) || !founder {
 		return PlanAskAgain, nil
 	}
 	for i := range members {
--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
@@ -13,39 +15,89 @@
 const (
 	keepInterval = clock.Second
 	joinTimeout  = 5 * clock.Second
+	// aloneLooks is the number of looks without a known leader after which a
+	// member asks to join: it may have been removed while it was away.
+	aloneLooks = 3
+	// silentMillis is how long a member is not heard before it is removed from
+	// a group that is larger than it has to be.
+	silentMillis = 8 * clock.Second
 )
 
+// View is what a member knows of its group.
+type View struct {
+	Members []raft.Member
+	// Leads says that this process leads, and Led that a leader is known.
+	Leads bool
+	Led   bool
+	// Silent lists, in the leader, the members that were not heard lately.
+	Silent []raft.MemberID
+}
+
 // Membership is what the keeper needs of the group.
 type Membership interface {
 	// Refresh makes the addresses of the current members known to the senders
-	// and returns the members; leads says that this process leads.
-	Refresh(ctx context.Context) (members []raft.Member, leads bool)
+	// and returns what the member knows.
+	Refresh(ctx context.Context) View
 	// Join adds a member on the leader; it takes the place of the listed member
 	// of that name when that one no longer answers.
 	Join(ctx context.Context, m raft.Member) error
+	// Remove removes a member on the leader.
+	Remove(ctx context.Context, id raft.MemberID) error
 }
 
-// Keeper is the duty that keeps the members' addresses known and, in the
-// leader, adds processes that lost their data folder under their new identity.
+// Keeper is the duty that keeps the members' addresses known. In the leader it
+// adds processes that lost their data folder under their new identity, and
+// removes members that are gone from a group that another one has joined. In a
+// process that is not a member it asks to become one.
 type Keeper[A Asker, M Membership] struct {
-	self       Hello
-	configured []model.Member
-	asker      A
-	group      M
-	clock      clock.Clock
-	done       chan struct{}
-	// joined is told of each process that was added.
-	joined func(m raft.Member)
+	self   Hello
+	member raft.Member
+	// configured holds the processes that the settings name.
+	configured atomic.Pointer[[]model.Member]
+	// size is the number of members that the group never falls below by
+	// removals.
+	size  int
+	asker A
+	group M
+	clock clock.Clock
+	done  chan struct{}
+	// joined is told of each process that was added, and removed of each
+	// member that was removed.
+	joined  func(m raft.Member)
+	removed func(id raft.MemberID)
+	// alone counts the looks in a row without a known leader.
+	alone int
+	// silent holds since when members have not been heard.
+	silent map[raft.MemberID]clock.Millis
 }
 
-// NewKeeper returns a keeper for the configured members.
-func NewKeeper[A Asker, M Membership](self Hello, configured []model.Member, a A, g M, c clock.Clock, joined func(raft.Member)) *Keeper[A, M] {
-	return &Keeper[A, M]{
-		self: self, configured: configured, asker: a, group: g, clock: c,
-		done: make(chan struct{}), joined: joined,
+// KeeperParts are what a keeper works with.
+type KeeperParts[A Asker, M Membership] struct {
+	Self       Hello
+	Member     raft.Member
+	Configured []model.Member
+	Size       int
+	Asker      A
+	Group      M
+	Clock      clock.Clock
+	Joined     func(raft.Member)
+	Removed    func(raft.MemberID)
+}
+
+// NewKeeper returns a keeper; Run must be called for it to do anything.
+func NewKeeper[A Asker, M Membership](p KeeperParts[A, M]) *Keeper[A, M] {
+	k := &Keeper[A, M]{
+		self: p.Self, member: p.Member, size: p.Size, asker: p.Asker, group: p.Group, clock: p.Clock,
+		done: make(chan struct{}), joined: p.Joined, removed: p.Removed, silent: map[raft.MemberID]clock.Millis{},
 	}
+	k.Configure(p.Configured)
+	return k
 }
 
+// Configure replaces the processes that the settings name. It may be called
+// from any goroutine.
+func (k *Keeper[A, M]) Configure(all []model.Member) { k.configured.Store(&all) }
+
 // Run looks at the member list until Stop.
 func (k *Keeper[A, M]) Run() error {
 	for {
@@ -64,14 +116,60 @@
 func (k *Keeper[A, M]) look() {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout.Duration())
 	defer cancel()
-	members, leads := k.group.Refresh(ctx)
-	if !leads {
+	v := k.group.Refresh(ctx)
+	if !v.Leads {
+		clear(k.silent)
+		k.enlist(ctx, v)
 		return
 	}
+	k.alone = 0
+	k.retire(ctx, v)
 	self := k.self
 	self.Initialised = true
-	m, ok := Missing(members, k.configured, ask(k.asker, self, k.configured))
+	configured := *k.configured.Load()
+	m, ok := Missing(v.Members, configured, ask(k.asker, self, configured))
 	if ok && k.group.Join(ctx, m) == nil {
 		k.joined(m)
 	}
 }
+
+// enlist asks for membership when this process is not a member, or hears no
+// leader for a while and may have been removed. For a member that is listed it
+// changes nothing.
+func (k *Keeper[A, M]) enlist(ctx context.Context, v View) {
+	listed := slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == k.self.ID })
+	k.alone++
+	if v.Led {
+		k.alone = 0
+	}
+	if k.member.ID == 0 || (listed && k.alone < aloneLooks) {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(*k.configured.Load()), func(m model.Member) bool { return m.Name == k.self.Name })
+	// Without an answer the next look asks again.
+	_ = k.asker.Join(ctx, others, k.member)
+}
+
+// retire removes a member that has not been heard for long from a group that
+// is larger than its size, as after the replacement of a machine for good.
+func (k *Keeper[A, M]) retire(ctx context.Context, v View) {
+	now := k.clock.Now()
+	for id := range k.silent {
+		if !slices.Contains(v.Silent, id) {
+			delete(k.silent, id)
+		}
+	}
+	for _, id := range v.Silent {
+		since, known := k.silent[id]
+		if !known {
+			k.silent[id] = now
+			continue
+		}
+		if len(v.Members) > k.size && now-since >= silentMillis {
+			if k.group.Remove(ctx, id) == nil {
+				k.removed(id)
+			}
+			return
+		}
+	}
+}
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -100,6 +100,9 @@
 	// Controls lists the control members, sorted by name; it contains this
 	// process.
 	Controls []model.Member
+	// GroupSize is the number of members that the group keeps whatever joins
+	// it; below the number of Controls it counts as that.
+	GroupSize int
 	// Entries lists the entry processes, sorted by name.
 	Entries []model.Member
 	// Platforms lists the platform's interfaces, at most one for each zone.
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -65,6 +65,41 @@
 	return h, err
 }
 
+// Join adds a process to the group on the leader.
+func (s *ConsensusServer[G]) Join(ctx context.Context, r *wirepb.JoinRequest) (*wirepb.JoinResponse, error) {
+	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
+	m, err := codec.MemberFromWire(r.GetMember())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("member", err.Error())
+	}
+	if st := s.Group.Status(); st.Role != raft.RoleLeader {
+		return nil, notLeader(string(st.Leader.Name), st.Leader.Address)
+	}
+	if err := s.Group.Join(ctx, m); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &wirepb.JoinResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
+}
+
+// Join asks the leader of the group that the members belong to for membership
+// of self. It asks the members in turn and follows the leader that one names.
+func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) error {
+	var last error
+	for _, m := range members {
+		for address, hops := m.Address, 0; address != "" && hops < 2; hops++ {
+			_, err := c.remote(address).consensus.Join(ctx, &wirepb.JoinRequest{
+				Member: codec.MemberToWire(self), Stamp: c.stamp(),
+			})
+			if err == nil {
+				return nil
+			}
+			mapped, leader := fromTwirp("join "+string(m.Name), err)
+			last, address = mapped, leader.Address
+		}
+	}
+	return last
+}
+
 // TimelineServer serves the events of one process.
 type TimelineServer struct {
 	// Events returns the events after a sequence number and the number of
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -29,6 +29,8 @@
 	// Await returns once the table's version is above v, or ctx has ended.
 	Await(ctx context.Context, v model.Version)
 	Step(all []raft.Message) error
+	// Join adds a member on the leader.
+	Join(ctx context.Context, m raft.Member) error
 	Status() GroupStatus
 	// Hello says who this process is.
 	Hello() boot.Hello
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -26,10 +26,11 @@
 
 // Leader finds the leader of the control group and calls it.
 type Leader struct {
-	Members []model.Member
-	client  *Client
-	clock   clock.Clock
-	mu      sync.Mutex
+	client *Client
+	clock  clock.Clock
+	mu     sync.Mutex
+	// members are asked in turn; at least one.
+	members []model.Member
 	// last is the address that answered as the leader; empty when unknown.
 	last string
 	// turn counts the members asked in rotation; it only grows.
@@ -41,7 +42,7 @@
 
 // NewLeader returns a caller of the leader among the members.
 func NewLeader(c *Client, members []model.Member, clk clock.Clock) *Leader {
-	return &Leader{Members: members, client: c, clock: clk, silent: map[string]clock.Millis{}}
+	return &Leader{members: members, client: c, clock: clk, silent: map[string]clock.Millis{}}
 }
 
 // Propose hands in a change and waits for its result. The change is handed in
@@ -111,7 +112,7 @@
 		}
 		// Waiting also bounds the rate at which two members that name each other
 		// as the leader are asked.
-		if n%len(l.Members) == 0 {
+		if n%len(l.list()) == 0 {
 			l.wait(ctx)
 		}
 		if ctx.Err() != nil {
@@ -142,18 +143,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	for range l.Members {
-		m := l.Members[l.turn%len(l.Members)]
+	for range l.members {
+		m := l.members[l.turn%len(l.members)]
 		l.turn++
 		if l.silent[m.Address] <= now {
 			return m.Address
 		}
 	}
-	m := l.Members[l.turn%len(l.Members)]
+	m := l.members[l.turn%len(l.members)]
 	l.turn++
 	return m.Address
 }
 
+// SetMembers replaces the members that are asked.
+func (l *Leader) SetMembers(all []model.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = all
+}
+
+func (l *Leader) list() []model.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.members
+}
+
 // avoid notes that an address gave no answer.
 func (l *Leader) avoid(address string) {
 	l.mu.Lock()
@@ -168,7 +182,7 @@
 // named none or the one that was just asked.
 func (l *Leader) follow(leader model.Member, asked string) string {
 	address := leader.Address
-	for _, m := range l.Members {
+	for _, m := range l.list() {
 		if m.Name != "" && m.Name == leader.Name {
 			address = m.Address
 		}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/charmbracelet/log"
@@ -96,6 +97,9 @@
 func newControl(cfg conf.Control, lg *log.Logger) (*Control, error) {
 	clk := clock.Real()
 	self := memberOf(cfg.Controls, cfg.Name)
+	if self.Address == "" {
+		self.Zone, self.Address = cfg.Zone, cfg.Listen.Peers
+	}
 	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.Disk]{
 		Self:         raft.Member{Name: self.Name, Zone: self.Zone, Address: self.Address},
 		SegmentBytes: cfg.Consensus.SegmentBytes,
@@ -109,8 +113,15 @@
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
 	c.member = newSeat(hello, c.senders)
-	c.keeper = boot.NewKeeper(hello, cfg.Controls, c.client, c.member, clk, func(m raft.Member) {
-		c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " under a new identity"})
+	c.keeper = boot.NewKeeper(boot.KeeperParts[*peers.Client, *seat]{
+		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
+		Configured: cfg.Controls, Size: max(cfg.GroupSize, len(cfg.Controls)), Asker: c.client, Group: c.member, Clock: clk,
+		Joined: func(m raft.Member) {
+			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " under a new identity"})
+		},
+		Removed: func(id raft.MemberID) {
+			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which was not heard", id)})
+		},
 	})
 	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
 		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -32,6 +32,8 @@
 	Handler  func(JobsService) http.Handler
 	Settings sched.Settings
 	Machines runner.Machines
+	// Reload reads the control processes from the settings anew.
+	Reload func() ([]model.Member, error)
 }
 
 // JobsService is what an adapter for workers and operators works with.
@@ -70,6 +72,7 @@
 	service := JobsService{Runner: c.work, Leader: c.knownLeader, Log: c.log}
 	addServer(g, l, o.Handler(service), peerStop)
 	add(g, c.work)
+	add(g, newReloader(o.Reload, c.cfg.Controls, c.keeper.Configure, c.clock, c.log))
 	return nil
 }
 
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -76,9 +76,24 @@
 }
 
 // Refresh makes the members' addresses known to the senders.
-func (m *seat) Refresh(ctx context.Context) ([]raft.Member, bool) {
+func (m *seat) Refresh(ctx context.Context) boot.View {
 	s := m.ask(ctx)
-	return s.Members, s.Role == raft.RoleLeader
+	v := boot.View{Members: s.Members, Leads: s.Role == raft.RoleLeader, Led: s.Leader.ID != 0}
+	for _, p := range s.Peers {
+		if !p.Recent {
+			v.Silent = append(v.Silent, p.Member.ID)
+		}
+	}
+	return v
+}
+
+// Remove removes a member.
+func (m *seat) Remove(ctx context.Context, id raft.MemberID) error {
+	d, err := m.get()
+	if err != nil {
+		return err
+	}
+	return d.Remove(ctx, id)
 }
 
 // Join adds a member.
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -51,7 +51,9 @@
 	Handler        func(Submitter) http.Handler
 	ReadyHandler   func(Submitter) http.Handler
 	MaxHeaderBytes int
-	LogLevel       string
+	// Reload reads the control processes from the settings anew.
+	Reload   func() ([]model.Member, error)
+	LogLevel string
 }
 
 // Submitter is what an adapter for submitters works with.
@@ -113,6 +115,7 @@
 	s.addCallers(&g, callers, o)
 	add(&g, &pinger{submitter: s, done: make(chan struct{})})
 	addServer(&g, ready, o.ReadyHandler(s), clock.Second)
+	add(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
 	add(&g, recorder)
 	lg.Info("started", "front", o.Front)
 	err = g.Run()
