--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -132,6 +132,9 @@
 type callAnswer struct {
 	answer Answer
 	reply  chan Answer
+	// uncertain is set when the call rests on an operation of an earlier batch:
+	// it may be done although its own batch is not committed.
+	uncertain bool
 }
 
 type beatOrders struct {
@@ -278,7 +281,7 @@
 		r.n.Resets++
 	}
 	r.board, r.loading = nil, false
-	r.fail(&r.next, err)
+	r.fail(&r.next, failf(err.Op, KindNotLeader, "%w", err.Err))
 	r.next = batch{}
 	for id, w := range r.waiters {
 		w.reply <- beatAnswer{err: err}
@@ -289,7 +292,7 @@
 // fail answers those whose batch was not committed.
 func (r *Runner[G, M, O, J]) fail(b *batch, err *Error) {
 	for _, a := range b.answers {
-		if err.Kind == KindUnknown {
+		if err.Kind == KindUnknown || a.uncertain {
 			a.reply <- Answer{Kind: AnswerUnknown, Reason: err.Error()}
 		} else {
 			a.reply <- unavailable(err.Error())
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -68,8 +68,10 @@
 		reply <- unavailable("no leader is known here")
 		return
 	}
+	ops := r.board.Decided()
 	a := r.handle(c, now)
-	r.next.answers = append(r.next.answers, callAnswer{answer: a, reply: reply})
+	uncertain := c.Kind == CallSubmit && r.board.Decided() == ops
+	r.next.answers = append(r.next.answers, callAnswer{answer: a, reply: reply, uncertain: uncertain})
 	switch a.Kind {
 	case AnswerNoJob, AnswerNoQueue, AnswerNoWave:
 		// Only a leader that is confirmed may say that something does not exist.
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -199,6 +199,9 @@
 	b.out.Ops = append(b.out.Ops, o)
 }
 
+// Decided is the number of operations since the last plan.
+func (b *Board[O, J]) Decided() int { return len(b.out.Ops) }
+
 func (b *Board[O, J]) note(what string, r *run, w *worker, reason string) {
 	b.out.Notes = append(b.out.Notes, Note{What: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
 }
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -163,10 +163,22 @@
 	return s
 }
 
-// together counts the lasting tasks of the step that would be lost with the
+// The weights of what speaks against a worker for a lasting task: a task of the
+// same step beside it, a filler beside a serving task, and a worker that runs no
+// lasting task yet. The last keeps workers free that can be moved or turned off.
+const (
+	sameStepWeight = 100
+	mixedWeight    = 10
+	openWeight     = 5
+)
+
+// together weighs the lasting tasks of the step that would be lost with the
 // worker or its rack, and the tasks that a filler would disturb.
 func (b *Board[O, J]) together(w *worker, g *group) int {
-	n := 100 * w.count(g.key)
+	n := sameStepWeight * w.count(g.key)
+	if !w.serves() {
+		n += openWeight
+	}
 	for _, x := range b.pool(w.pool).present {
 		if x != w && x.rack == w.rack && w.rack != "" {
 			n += x.count(g.key)
@@ -174,7 +186,7 @@
 	}
 	for _, r := range w.runs {
 		if r.step.Lasting && (r.step.Filler != g.step.Filler) {
-			n += 10
+			n += mixedWeight
 		}
 	}
 	return n
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -22,6 +23,8 @@
 	moveLost = 5 * clock.Second
 	// moveRetry keeps a machine from being tried again at once after a refusal.
 	moveRetry = clock.Second
+	// notePeriod separates two reports of the load.
+	notePeriod = 2 * clock.Second
 )
 
 // machines is what is known of the machines beside their workers.
@@ -38,8 +41,9 @@
 	listing bool
 	asked   clock.Millis
 	listed  clock.Millis
-	// next is the time of the next look.
-	next clock.Millis
+	// next is the time of the next look, and noted that of the last line.
+	next  clock.Millis
+	noted clock.Millis
 }
 
 // move is a machine on its way to a pool.
@@ -86,6 +90,7 @@
 		}
 	}
 	loads := b.loads(now)
+	b.noteLoads(loads, now)
 	for _, d := range loads {
 		for n := d.want - d.have; n > 0; n-- {
 			if !b.bring(d, loads, now) {
@@ -96,6 +101,35 @@
 	b.dismiss(loads, standby, now)
 }
 
+// noteLoads adds a line for each pool to the plan every few seconds.
+func (b *Board[O, J]) noteLoads(loads []*demand, now clock.Millis) {
+	if now < b.fleet.noted+notePeriod {
+		return
+	}
+	b.fleet.noted = now
+	for _, d := range loads {
+		serving := 0
+		for _, w := range b.workers {
+			if w.pool == d.name && w.serves() {
+				serving++
+			}
+		}
+		b.out.Notes = append(b.out.Notes, Note{What: "pool-load", Reason: fmt.Sprintf(
+			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
+			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work(now)/1000)})
+	}
+}
+
+// serves reports whether lasting tasks run on the worker.
+func (w *worker) serves() bool {
+	for _, r := range w.runs {
+		if r.step.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
 // standbyPool names the pool whose machines are off; empty for none.
 func (b *Board[O, J]) standbyPool() jobs.PoolName {
 	for _, p := range b.State.Config.Pools {
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -97,6 +97,10 @@
 		if n.What == "run-started" {
 			continue
 		}
+		if n.Task.Job == "" {
+			c.log.Info(n.What, "detail", n.Reason)
+			continue
+		}
 		c.log.Info(n.What, "job", jobs.ID(n.Task.Job), "occurrence", n.Task.Occurrence, "step", n.Task.Step,
 			"index", n.Task.Index, "run", n.Run, "worker", n.Worker, "reason", n.Reason)
 	}
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -28,7 +28,9 @@
 	// leaderWait bounds the search for a leader in one call. An election takes
 	// one to two seconds, and a caller who is refused early can come back in
 	// time.
-	leaderWait = 1200 * clock.Millis(1)
+	leaderWait = 900 * clock.Millis(1)
+	// againWait separates two tries of one call.
+	againWait = 100 * clock.Millis(1)
 	// submitLameDuck is the time between the first failing readiness check and
 	// the close of the listener: the balancer checks once a second and needs
 	// two misses.
@@ -66,8 +68,34 @@
 }
 
 // Call hands a call to the leader. The answer tells whether the call may have
-// been carried out.
+// been carried out. A call that may have been is handed in again as long as
+// the caller waits: it is idempotent, and only a definite answer helps the
+// caller. One that was not is refused soon, so that the caller can come back.
 func (s Submitter) Call(ctx context.Context, c runner.Call) runner.Answer {
+	soon := s.clock.Now() + leaderWait
+	uncertain := false
+	for {
+		a := s.try(ctx, c)
+		uncertain = uncertain || a.Kind == runner.AnswerUnknown
+		open := a.Kind == runner.AnswerUnknown || a.Kind == runner.AnswerUnavailable
+		if !open {
+			return a
+		}
+		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= soon) {
+			if uncertain {
+				a.Kind = runner.AnswerUnknown
+			}
+			return a
+		}
+		select {
+		case <-s.clock.After(againWait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// try hands a call to the leader once.
+func (s Submitter) try(ctx context.Context, c runner.Call) runner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait.Duration())
 	defer cancel()
 	a, err := s.leader.Work(ctx, c)
