Free machines of pools with more than they need, and pack short tasks

Change: tasks go to the fullest worker with room; as many machines as others lack get no new work and are moved when theirs has ended.

--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -50,16 +50,15 @@
 		reply <- beatAnswer{err: failf("heartbeat", KindNotLeader, "this process does not lead")}
 		return
 	}
-	if old, ok := r.waiters[h.Worker]; ok {
-		// The worker gave the earlier heartbeat up.
-		old.reply <- beatAnswer{err: failf("heartbeat", KindStale, "a later heartbeat came")}
-		delete(r.waiters, h.Worker)
-	}
 	if !r.board.Beat(*h, now) {
 		r.n.StaleBeats++
 		reply <- beatAnswer{err: failf("heartbeat", KindStale, "it is older than one that was taken")}
 		return
 	}
+	if old, ok := r.waiters[h.Worker]; ok {
+		// The worker gave the earlier heartbeat up.
+		old.reply <- beatAnswer{err: failf("heartbeat", KindStale, "a later heartbeat came")}
+	}
 	r.waiters[h.Worker] = waiter{reply: reply, received: h.Received}
 }
 
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -67,6 +67,9 @@
 	// the latest of them.
 	streak     int
 	lastFailed jobs.ID
+	// parting keeps new tasks off a worker whose machine another pool needs: it
+	// is moved once what runs has ended.
+	parting bool
 	// idle is the time since which the worker runs nothing.
 	idle clock.Millis
 	// weight is the evidence against the worker; it is set aside until aside.
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -117,7 +117,7 @@
 
 // may reports whether a worker may run a task of the group, room aside.
 func (b *Board[O, J]) may(w *worker, g *group, now clock.Millis) bool {
-	if w.draining || w.held || w.leaving || w.aside > now || w.beat == nil {
+	if w.draining || w.held || w.leaving || w.parting || w.aside > now || w.beat == nil {
 		return false
 	}
 	if g.step.Label != "" && !slices.Contains(w.labels, g.step.Label) {
@@ -141,17 +141,19 @@
 type score struct {
 	// near is set on the rack of the data, or of the step's other tasks.
 	near bool
-	// together counts what the task is to be kept apart from.
+	// together weighs what the task is to be kept apart from.
 	together int
-	free     int
-	id       jobs.WorkerID
+	// free is the room that is left; a fuller worker is better, so that others
+	// run nothing and can be moved or turned off.
+	free int
+	id   jobs.WorkerID
 }
 
 func (s score) better(t score) bool {
 	if s.near != t.near {
 		return s.near
 	}
-	return cmp.Or(cmp.Compare(t.together, s.together), cmp.Compare(s.free, t.free), cmp.Compare(t.id, s.id)) > 0
+	return cmp.Or(cmp.Compare(t.together, s.together), cmp.Compare(t.free, s.free), cmp.Compare(t.id, s.id)) > 0
 }
 
 func (b *Board[O, J]) score(w *worker, g *group) score {
@@ -206,7 +208,7 @@
 			continue
 		}
 		b.out.Orders = append(b.out.Orders, Orders{
-			Worker: id, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Rates: w.beat.rates,
+			Worker: id, Life: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Rates: w.beat.rates,
 			Retry: b.retry(w, now), Lease: true,
 		})
 		w.beat = nil
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -67,8 +67,10 @@
 	// want is the number that starts its waiting work in time.
 	have int
 	want int
-	// idle lists the machines that run nothing, the longest first.
+	// idle lists the machines that run nothing, the longest first, and busy
+	// those that run tasks that end, the least busy first.
 	idle []*worker
+	busy []*worker
 }
 
 // surge moves machines to pools whose waiting work does not start in time:
@@ -91,13 +93,16 @@
 	}
 	loads := b.loads(now)
 	b.noteLoads(loads, now)
+	lack := 0
 	for _, d := range loads {
 		for n := d.want - d.have; n > 0; n-- {
 			if !b.bring(d, loads, now) {
+				lack += n
 				break
 			}
 		}
 	}
+	b.part(loads, lack)
 	b.dismiss(loads, standby, now)
 }
 
@@ -205,8 +210,12 @@
 				w.idle = now
 			}
 			d.idle = append(d.idle, w)
+			w.parting = false
 		} else {
 			w.idle = 0
+			if !w.serves() {
+				d.busy = append(d.busy, w)
+			}
 		}
 	}
 	for _, v := range b.fleet.moves {
@@ -218,6 +227,9 @@
 	for name, d := range by {
 		need := busy[name] + int(b.pool(name).work(now)/b.set.SurgeMillis)
 		d.want = (need + each - 1) / each
+		slices.SortStableFunc(d.busy, func(x, y *worker) int {
+			return cmp.Or(-compareBool(x.parting, y.parting), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
+		})
 		slices.SortStableFunc(d.idle, func(x, y *worker) int { return cmp.Compare(x.idle, y.idle) })
 	}
 	return slices.SortedFunc(maps.Values(by), func(x, y *demand) int {
@@ -225,6 +237,16 @@
 	})
 }
 
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
 // work sums the waiting work of a pool that can still be on time, in
 // thousandths of a processor times milliseconds.
 func (p *pool) work(now clock.Millis) clock.Millis {
@@ -272,6 +294,23 @@
 	return false
 }
 
+// part keeps new tasks off the machines of pools with more than they need, as
+// many as others lack: tasks of a second or two would otherwise keep each of
+// them a little busy for as long as the pool has any work.
+func (b *Board[O, J]) part(loads []*demand, lack int) {
+	for i := len(loads) - 1; i >= 0; i-- {
+		d := loads[i]
+		spare := d.have - d.want - b.set.Reserve
+		for _, w := range d.busy {
+			w.parting = lack > 0 && spare > 0
+			if w.parting {
+				lack--
+				spare--
+			}
+		}
+	}
+}
+
 // dismiss sends machines that stay idle to the standby pool.
 func (b *Board[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
 	off := &demand{name: standby}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -125,6 +125,7 @@
 // Orders answer a heartbeat.
 type Orders struct {
 	Worker jobs.WorkerID
+	Life   jobs.Life
 	// AckUpTo is the number of the last end that is taken note of.
 	AckUpTo int64
 	Starts  []Start
