--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -121,7 +121,7 @@
 		}
 		b.out.Notes = append(b.out.Notes, Note{What: "pool-load", Reason: fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
-			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work(now)/1000)})
+			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work()/1000)})
 	}
 }
 
@@ -225,7 +225,7 @@
 	}
 	each := max(b.fleet.room.MilliCores, 1)
 	for name, d := range by {
-		need := busy[name] + int(b.pool(name).work(now)/b.set.SurgeMillis)
+		need := busy[name] + int(b.pool(name).work()/b.set.SurgeMillis)
 		d.want = (need + each - 1) / each
 		slices.SortStableFunc(d.busy, func(x, y *worker) int {
 			return cmp.Or(-compareBool(x.parting, y.parting), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
@@ -249,10 +249,10 @@
 
 // work sums the waiting work of a pool that can still be on time, in
 // thousandths of a processor times milliseconds.
-func (p *pool) work(now clock.Millis) clock.Millis {
+func (p *pool) work() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
-		if g.step.Filler || g.rec.Status.Final() {
+		if g.step.Filler || g.rec.Status.Final() || g.rank.Class == classLate {
 			continue
 		}
 		length := g.step.Estimate
