Make the cost of a pass follow what changed

Change: heaps of due answers, leases and occurrences; pools are passed over when something in them changed; ranks are at most 100 ms old; waves are looked at every 50 ms.

--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -13,6 +13,7 @@
 // reports false for one that is late: of an earlier life of its worker or
 // machine, or from before one that was taken already.
 func (b *Board[O, J]) Beat(h Beat, now clock.Millis) bool {
+	b.now = max(b.now, now)
 	w := b.workers[h.Worker]
 	if w != nil && (h.Life < w.life || (h.Life == w.life && w.known && h.Seq <= w.seq)) {
 		return false
@@ -28,8 +29,9 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, life: h.Life, runs: map[jobs.Task]*run{}}
+		w = &worker{id: h.Worker, life: h.Life, runs: map[jobs.Task]*run{}, until: h.Received + b.longest()}
 		b.workers[h.Worker] = w
+		b.leases.Push(dueLease{at: w.until, w: w})
 	}
 	b.settle(w, h, now)
 	ack := b.ends(w, h, now)
@@ -37,14 +39,30 @@
 	b.arrived(w)
 	w.beat = &waiting{ack: ack, pressed: len(h.Ends) > 0}
 	w.until = max(w.until, h.Received+b.longest())
+	if w.expired {
+		w.expired = false
+		b.leases.Push(dueLease{at: w.until, w: w})
+	}
 	b.answerRuns(w, now)
+	b.watch(w, now)
 	if !w.draining {
-		b.pool(w.pool).present[w.id] = w
+		p := b.pool(w.pool)
+		p.present[w.id] = w
+		b.dirty[p] = true
 	}
-	w.beat.due = b.holdUntil(w, now)
+	b.answerBy(w, b.holdUntil(w, now))
 	return true
 }
 
+// answerBy sets the time at which a worker's heartbeat has to be answered.
+func (b *Board[O, J]) answerBy(w *worker, at clock.Millis) {
+	if w.beat == nil || (w.beat.set && w.beat.due <= at) {
+		return
+	}
+	w.beat.due, w.beat.set = at, true
+	b.answers.Push(dueBeat{at: at, beat: w.beat, w: w})
+}
+
 // settle brings what the worker says of itself up to date.
 func (b *Board[O, J]) settle(w *worker, h Beat, now clock.Millis) {
 	if m := b.machines[h.Machine]; m != nil && m != w {
@@ -228,6 +246,7 @@
 	r.stopping, r.why = true, why
 	b.note("run-stopped", r, w, why)
 	if w.beat != nil {
+		b.answerBy(w, b.now)
 		w.beat.stops = append(w.beat.stops, Stop{Task: r.task, Run: r.number})
 		w.beat.starts = slices.DeleteFunc(w.beat.starts, func(s Start) bool { return s.Task == r.task })
 	}
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -1,7 +1,10 @@
 package sched
 
 import (
+	"cmp"
+
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/heap"
 	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/place"
 )
@@ -28,13 +31,50 @@
 	queues map[jobs.QueueName]jobs.PoolName
 	// placed lists the version of the configuration that queues was made of.
 	placed uint64
+	// now is the latest time that a call has told.
+	now clock.Millis
 	// began is the time at which the leader's term began here.
 	began clock.Millis
 	waves map[int]*wave
 	fleet machines
 	// later holds the occurrences that are not due yet.
-	later []later
-	out   Plan
+	later heap.Heap[later]
+	// answers holds the heartbeats by the time at which they have to be
+	// answered; an entry whose heartbeat was answered or brought forward since
+	// is passed over.
+	answers heap.Heap[dueBeat]
+	// leases holds the workers by the end of their lease; a lease that was
+	// renewed since is entered again when its old end comes.
+	leases heap.Heap[dueLease]
+	// dirty holds the pools with something new for a pass: a present worker or
+	// waiting work.
+	dirty map[*pool]bool
+	// upkeep is the time of the next look at the waves.
+	upkeep clock.Millis
+	out    Plan
+}
+
+// dueBeat is the time at which a heartbeat has to be answered.
+type dueBeat struct {
+	at   clock.Millis
+	beat *waiting
+	w    *worker
+}
+
+// Before orders by time, and by name for equal times.
+func (d dueBeat) Before(e dueBeat) bool {
+	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.w.id, e.w.id)) < 0
+}
+
+// dueLease is the end of a worker's lease.
+type dueLease struct {
+	at clock.Millis
+	w  *worker
+}
+
+// Before orders by time, and by name for equal times.
+func (d dueLease) Before(e dueLease) bool {
+	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.w.id, e.w.id)) < 0
 }
 
 // worker is one life of a worker.
@@ -70,6 +110,8 @@
 	// parting keeps new tasks off a worker whose machine another pool needs: it
 	// is moved once what runs has ended.
 	parting bool
+	// expired is set from the end of the lease until the next heartbeat.
+	expired bool
 	// idle is the time since which the worker runs nothing.
 	idle clock.Millis
 	// weight is the evidence against the worker; it is set aside until aside.
@@ -84,7 +126,9 @@
 
 // waiting is a heartbeat whose answer is held back until due.
 type waiting struct {
+	// due is when the answer has to be sent, once set is true; it only falls.
 	due     clock.Millis
+	set     bool
 	ack     int64
 	starts  []Start
 	stops   []Stop
@@ -117,10 +161,10 @@
 // longest lease has ended, even if the worker is never heard.
 func NewBoard[O Order, J place.Judge](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
 	b := &Board[O, J]{
-		set: set, order: order, judge: judge, State: s, began: now,
+		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
-		fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
+		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
 	}
 	b.readConfig()
 	for _, r := range s.Jobs {
@@ -149,6 +193,7 @@
 						until: now + b.longest(),
 					}
 					b.workers[t.Worker] = w
+					b.leases.Push(dueLease{at: w.until, w: w})
 				}
 				id := jobs.Task{Job: r.ID, Occurrence: k, Step: i, Index: n}
 				b.attach(w, &run{task: id, number: t.Run, rec: r, step: &r.Steps[i], started: now, moved: now})
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -90,6 +90,8 @@
 	// addition.
 	groups []*group
 	sorted bool
+	// ranked is when the ranks were last brought up to date.
+	ranked clock.Millis
 	index  map[groupKey]*group
 	// present holds the workers whose heartbeat waits for an answer.
 	present map[jobs.WorkerID]*worker
@@ -120,6 +122,11 @@
 	occurrence int
 }
 
+// Before orders by time, then by name.
+func (l later) Before(m later) bool {
+	return cmp.Or(cmp.Compare(l.due, m.due), cmp.Compare(l.job, m.job), cmp.Compare(l.occurrence, m.occurrence)) < 0
+}
+
 func (b *Board[O, J]) pool(name jobs.PoolName) *pool {
 	p := b.pools[name]
 	if p == nil {
@@ -138,7 +145,7 @@
 	}
 	for k := range r.Occurrences {
 		if due := r.Due(k); due > now {
-			b.later = append(b.later, later{due: due, job: r.ID, occurrence: k})
+			b.later.Push(later{due: due, job: r.ID, occurrence: k})
 			continue
 		}
 		b.enterOccurrence(r, k, now)
@@ -174,6 +181,7 @@
 		p.sorted = false
 	}
 	g.waiting = append(g.waiting, t.Index)
+	b.dirty[p] = true
 }
 
 // regroup moves waiting work to the pools that the configuration names now.
@@ -195,43 +203,44 @@
 	}
 }
 
-// arrange sorts the groups by rank, after it has dropped those without
-// waiting tasks and brought ranks up to date.
+// rankPeriod bounds how old the ranks of waiting work may be. A rank changes
+// when work becomes late, which is a matter of seconds.
+const rankPeriod clock.Millis = 100
+
+// arrange sorts the groups by rank and drops those without waiting tasks.
 func (b *Board[O, J]) arrange(p *pool, now clock.Millis) {
+	fresh := now-p.ranked >= rankPeriod
+	if !fresh && p.sorted {
+		return
+	}
 	kept := p.groups[:0]
 	for _, g := range p.groups {
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
 			delete(p.index, g.key)
 			continue
 		}
-		if rank := b.order.Rank(g.rec, g.key.occurrence, now); rank != g.rank {
-			g.rank, p.sorted = rank, false
+		if fresh {
+			g.rank = b.order.Rank(g.rec, g.key.occurrence, now)
 		}
 		kept = append(kept, g)
 	}
 	clear(p.groups[len(kept):])
-	p.groups = kept
-	if p.sorted {
-		return
+	p.groups, p.sorted = kept, true
+	if fresh {
+		p.ranked = now
 	}
 	slices.SortFunc(p.groups, func(a, b *group) int {
 		return cmp.Or(cmp.Compare(a.rank.Class, b.rank.Class), cmp.Compare(a.rank.Key, b.rank.Key),
 			cmp.Compare(a.rank.Seq, b.rank.Seq), cmp.Compare(a.key.step, b.key.step))
 	})
-	p.sorted = true
 }
 
 // release queues the occurrences that have fallen due.
 func (b *Board[O, J]) release(now clock.Millis) {
-	kept := b.later[:0]
-	for _, l := range b.later {
-		if l.due > now {
-			kept = append(kept, l)
-			continue
-		}
+	for b.later.Len() > 0 && b.later.Top().due <= now {
+		l := b.later.Pop()
 		if r := b.State.Jobs[l.job]; r != nil && !r.Status.Final() {
 			b.enterOccurrence(r, l.occurrence, now)
 		}
 	}
-	b.later = kept
 }
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -10,14 +10,17 @@
 )
 
 // Pass decides what to do now. Orders may be sent once the plan's operations
-// are committed.
+// are committed. Its cost follows what changed since the last one, not the size
+// of the fleet.
 func (b *Board[O, J]) Pass(now clock.Millis) Plan {
+	b.now = max(b.now, now)
 	b.expire(now)
 	b.release(now)
 	b.maintain(now)
-	for _, name := range slices.Sorted(maps.Keys(b.pools)) {
-		b.passPool(b.pools[name], now)
+	for p := range b.dirty {
+		b.passPool(p, now)
 	}
+	clear(b.dirty)
 	b.surge(now)
 	b.answer(now)
 	plan := b.out
@@ -28,15 +31,20 @@
 
 // expire ends the runs of workers whose longest lease has ended.
 func (b *Board[O, J]) expire(now clock.Millis) {
-	for _, id := range slices.Sorted(maps.Keys(b.workers)) {
-		w := b.workers[id]
+	for b.leases.Len() > 0 && b.leases.Top().at < now {
+		w := b.leases.Pop().w
+		if b.workers[w.id] != w {
+			continue
+		}
 		if w.until >= now {
-			b.watch(w, now)
+			b.leases.Push(dueLease{at: w.until, w: w})
 			continue
 		}
 		b.lose(w, "the worker's lease ended", now)
 		delete(b.pool(w.pool).present, w.id)
 		w.beat = nil
+		// It is looked at again when it is heard.
+		w.expired = true
 	}
 }
 
@@ -63,6 +71,9 @@
 	// failed holds the sizes that no present worker had room for.
 	var failed []jobs.Size
 	for _, g := range p.groups {
+		if len(g.waiting) == 0 || g.rec.Status.Final() {
+			continue
+		}
 		need := counted(g.step)
 		if slices.ContainsFunc(failed, func(s jobs.Size) bool { return fits(s, need) }) {
 			continue
@@ -90,7 +101,7 @@
 	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Life: w.life}, now)
 	b.attach(w, r)
 	w.beat.starts = append(w.beat.starts, b.startOf(r))
-	w.beat.due = now
+	b.answerBy(w, now)
 	b.note("run-started", r, w, "")
 }
 
@@ -196,23 +207,18 @@
 
 // answer makes the answers to the heartbeats that are due.
 func (b *Board[O, J]) answer(now clock.Millis) {
-	for _, id := range slices.Sorted(maps.Keys(b.workers)) {
-		w := b.workers[id]
-		if w.beat == nil {
-			continue
-		}
-		if len(w.beat.stops) > 0 || len(w.beat.rates) > 0 {
-			w.beat.due = now
-		}
-		if w.beat.due > now {
+	for b.answers.Len() > 0 && b.answers.Top().at <= now {
+		d := b.answers.Pop()
+		w := d.w
+		if w.beat != d.beat || w.beat.due != d.at {
 			continue
 		}
 		b.out.Orders = append(b.out.Orders, Orders{
-			Worker: id, Life: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Rates: w.beat.rates,
+			Worker: w.id, Life: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Rates: w.beat.rates,
 			Retry: b.retry(w, now), Lease: true,
 		})
 		w.beat = nil
-		delete(b.pool(w.pool).present, id)
+		delete(b.pool(w.pool).present, w.id)
 	}
 }
 
@@ -234,16 +240,14 @@
 // wake is when the next pass is due.
 func (b *Board[O, J]) wake(now clock.Millis) clock.Millis {
 	at := now + b.set.HoldMillis
-	for _, w := range b.workers {
-		if w.beat != nil {
-			at = min(at, w.beat.due)
-		}
-		if len(w.runs) > 0 {
-			at = min(at, w.until+1)
-		}
+	if b.answers.Len() > 0 {
+		at = min(at, b.answers.Top().at)
+	}
+	if b.leases.Len() > 0 {
+		at = min(at, b.leases.Top().at+1)
 	}
-	for _, l := range b.later {
-		at = min(at, l.due)
+	if b.later.Len() > 0 {
+		at = min(at, b.later.Top().due)
 	}
 	if b.fleet.next > now {
 		at = min(at, b.fleet.next)
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -303,6 +303,7 @@
 		spare := d.have - d.want - b.set.Reserve
 		for _, w := range d.busy {
 			w.parting = lack > 0 && spare > 0
+			b.dirty[b.pool(w.pool)] = true
 			if w.parting {
 				lack--
 				spare--
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -13,6 +13,9 @@
 // refused for now or its answer was lost.
 const orderRetryMillis clock.Millis = 400
 
+// upkeepPeriod separates two looks at the waves.
+const upkeepPeriod clock.Millis = 50
+
 // wave is the progress of a declared maintenance in this term.
 type wave struct {
 	*jobs.Wave
@@ -61,6 +64,10 @@
 // maintain orders the maintenance of machines of the waves, at most the cap of
 // each at a time, and keeps new work off the machines that come next.
 func (b *Board[O, J]) maintain(now clock.Millis) {
+	if now < b.upkeep {
+		return
+	}
+	b.upkeep = now + upkeepPeriod
 	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
 		v := b.waves[n]
 		b.returned(v, now)
@@ -120,8 +127,9 @@
 		case w != nil && ahead > 0:
 			ahead--
 			w.held = true
-		case w != nil:
+		case w != nil && w.held:
 			w.held = false
+			b.dirty[b.pool(w.pool)] = true
 		}
 	}
 }
@@ -322,7 +330,7 @@
 func (b *Board[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range b.waves {
 		if !v.Completed() {
-			return max(now+50, b.began+b.set.QuietMillis), true
+			return max(b.upkeep, b.began+b.set.QuietMillis), true
 		}
 	}
 	return 0, false
