Test the runner: answers follow commits, resends, lost commits, leadership

Cause: the duty had no test. Change: a consensus of one that can be held up and lose its leadership.

--- /dev/null
+++ b/core/coord/runner/runner_test.go
@@ -0,0 +1,310 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/place"
+	"camphorridge/core/state/sched"
+)
+
+var (
+	errNotLeader = errors.New("not the leader")
+	errUnknown   = errors.New("the outcome is unknown")
+)
+
+// fakeGroup is a consensus of one that can be held up, and can lose its
+// leadership.
+type fakeGroup struct {
+	mu    sync.Mutex
+	state *fleet.State
+	term  uint64
+	leads bool
+	// gate, when set, holds proposals and reads back until it is closed.
+	gate chan struct{}
+	// fail is the error of proposals.
+	fail    error
+	changes int
+	reads   int
+}
+
+func newFakeGroup() *fakeGroup { return &fakeGroup{state: fleet.New(), term: 2, leads: true} }
+
+func (g *fakeGroup) wait(ctx context.Context) error {
+	g.mu.Lock()
+	gate := g.gate
+	g.mu.Unlock()
+	if gate == nil {
+		return nil
+	}
+	select {
+	case <-gate:
+		return nil
+	case <-ctx.Done():
+		return errUnknown
+	}
+}
+
+func (g *fakeGroup) Propose(ctx context.Context, c model.Change) (model.Result, error) {
+	if err := g.wait(ctx); err != nil {
+		return model.Result{}, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fail != nil {
+		return model.Result{}, g.fail
+	}
+	if !g.leads {
+		return model.Result{}, errNotLeader
+	}
+	g.changes++
+	return g.state.Apply(model.Version(g.changes), c), nil
+}
+
+func (g *fakeGroup) Read(ctx context.Context) error {
+	if err := g.wait(ctx); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reads++
+	if !g.leads {
+		return errNotLeader
+	}
+	return nil
+}
+
+func (g *fakeGroup) Query(_ context.Context, f func(*fleet.State)) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.state)
+	return nil
+}
+
+func (g *fakeGroup) Leads() (uint64, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term, g.leads
+}
+
+func (g *fakeGroup) Certain(err error) bool { return errors.Is(err, errNotLeader) }
+
+// set changes the group under its lock.
+func (g *fakeGroup) set(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
+
+type noMachines struct{}
+
+func (noMachines) Do(context.Context, sched.Action, string, uint64) sched.Outcome {
+	return sched.Outcome{Answer: sched.AnswerLater}
+}
+
+type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]
+
+func start(t *testing.T, g *fakeGroup) *testRunner {
+	t.Helper()
+	set := sched.Defaults()
+	set.SurgeMillis = 0
+	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
+		Name: "c1", Group: g, Judge: place.Peers{Least: 3}, Settings: set, Clock: clock.Real(),
+	})
+	go func() { _ = r.Run() }()
+	t.Cleanup(func() {
+		r.Stop()
+		<-r.ended
+	})
+	r.Wake()
+	ask(t, r, AnswerUnavailable, Call{Kind: CallPing})
+	config := jobs.Config{
+		Version: 3, Document: []byte("{}"), Pools: []jobs.Pool{{Name: "p"}},
+		Queues: []jobs.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500},
+			{Name: "deep", Host: "h", Prefix: "/q/deep/", Pool: "p", Attempts: 2},
+			{Name: "advised", Host: "a", Prefix: "/", Pool: "p", Advised: true},
+		},
+	}
+	ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: config})
+	return r
+}
+
+// patience is far above what an answer takes.
+const patience = 10 * time.Second
+
+// ask repeats a call until its answer is of a kind: the state is loaded in the
+// background.
+func ask(t *testing.T, r *testRunner, want AnswerKind, c Call) Answer {
+	t.Helper()
+	var a Answer
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		a = r.Call(ctx, c)
+		cancel()
+		if a.Kind == want {
+			return a
+		}
+		<-clock.Real().After(5)
+	}
+	t.Fatalf("the answer is %+v, not of kind %d", a, want)
+	return a
+}
+
+func submit(path string) Call {
+	return Call{Kind: CallSubmit, Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
+		{Count: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
+	}}}
+}
+
+func beat(r *testRunner, seq int64) (Reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return r.Beat(ctx, sched.Beat{
+		Worker: "w1", Life: 1, Machine: "m1", Pool: "p", Seq: seq, Room: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
+	})
+}
+
+// TestAnswersFollowTheCommit guards against a submission that is acknowledged,
+// or a task that is started, before it is durable.
+func TestAnswersFollowTheCommit(t *testing.T) {
+	g := newFakeGroup()
+	r := start(t, g)
+	gate := make(chan struct{})
+	g.set(func() { g.gate = gate })
+	answered := make(chan Answer, 1)
+	started := make(chan Reply, 1)
+	go func() { answered <- r.Call(context.Background(), submit("/q/a")) }()
+	go func() {
+		reply, _ := beat(r, 1)
+		started <- reply
+	}()
+	select {
+	case a := <-answered:
+		t.Fatalf("answered %+v before the commit", a)
+	case o := <-started:
+		t.Fatalf("ordered %+v before the commit", o)
+	case <-clock.Real().After(100):
+	}
+	g.set(func() { g.gate = nil })
+	close(gate)
+	assert.Equal(t, (<-answered).Kind, AnswerDone)
+	reply := <-started
+	if len(reply.Orders.Starts) == 0 {
+		var err error
+		reply, err = beat(r, 2)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(reply.Orders.Starts), 2)
+	assert.Equal(t, reply.Token, uint64(2))
+	assert.Assert(t, reply.Lease > 0 && reply.Lease <= r.set.LeaseMillis)
+}
+
+// TestResendIsOneJob guards against a job that runs twice because its
+// submitter, who got no answer, sent it again.
+func TestResendIsOneJob(t *testing.T) {
+	r := start(t, newFakeGroup())
+	for range 3 {
+		ask(t, r, AnswerDone, submit("/q/a"))
+	}
+	a := ask(t, r, AnswerDone, Call{Kind: CallPending, Host: "h", Path: "/q/"})
+	assert.Equal(t, a.Pending, 1)
+}
+
+// TestCalls is the table of what calls are answered.
+func TestCalls(t *testing.T) {
+	r := start(t, newFakeGroup())
+	ask(t, r, AnswerDone, submit("/q/a"))
+	gang := submit("/q/b")
+	gang.Job.Steps = []jobs.Step{{Count: 2, Gang: true}}
+	for _, c := range []struct {
+		name string
+		call Call
+		want AnswerKind
+	}{
+		{"state of a job", Call{Kind: CallStatus, Host: "h", Path: "/q/a"}, AnswerDone},
+		{"state of no job", Call{Kind: CallStatus, Host: "h", Path: "/q/none"}, AnswerNoJob},
+		{"unknown host", Call{Kind: CallStatus, Host: "x", Path: "/q/a"}, AnswerNoQueue},
+		{"unknown path", submit("/other/a"), AnswerNoQueue},
+		{"longest prefix", Call{Kind: CallPending, Host: "h", Path: "/q/deep/"}, AnswerDone},
+		{"no identity", submit("/q/"), AnswerInvalid},
+		{"a gang", gang, AnswerUnsupported},
+		{"a queue with advice", Call{Kind: CallSubmit, Host: "a", Path: "/x", Job: gang.Job}, AnswerUnsupported},
+		{"cancel of no job", Call{Kind: CallCancel, Host: "h", Path: "/q/none"}, AnswerNoJob},
+		{"cancel", Call{Kind: CallCancel, Host: "h", Path: "/q/a"}, AnswerDone},
+		{"unknown wave", Call{Kind: CallWave, Number: 7}, AnswerNoWave},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, r.Call(context.Background(), c.call).Kind, c.want)
+		})
+	}
+	assert.Equal(t, ask(t, r, AnswerDone, Call{Kind: CallStatus, Host: "h", Path: "/q/a"}).Status, jobs.StatusCancelled)
+}
+
+// TestOlderConfigurationChangesNothing guards against a change that comes late
+// and takes effect after a newer one, and against a refusal of the resend.
+func TestOlderConfigurationChangesNothing(t *testing.T) {
+	r := start(t, newFakeGroup())
+	for _, version := range []uint64{3, 2} {
+		a := ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: jobs.Config{Version: version, Document: []byte("other")}})
+		assert.Equal(t, a.Version, uint64(3))
+	}
+	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallConfig}).Document), "{}")
+}
+
+// TestAbsenceIsConfirmed guards against a leader that was replaced and says
+// that a job, which the next leader has accepted, does not exist.
+func TestAbsenceIsConfirmed(t *testing.T) {
+	g := newFakeGroup()
+	r := start(t, g)
+	ask(t, r, AnswerNoJob, Call{Kind: CallStatus, Host: "h", Path: "/q/none"})
+	g.set(func() { g.fail = errNotLeader })
+	gate := make(chan struct{})
+	g.set(func() { g.gate = gate })
+	answered := make(chan Answer, 1)
+	go func() { answered <- r.Call(context.Background(), Call{Kind: CallStatus, Host: "h", Path: "/q/none"}) }()
+	g.set(func() { g.leads = false })
+	g.set(func() { g.gate = nil })
+	close(gate)
+	assert.Assert(t, (<-answered).Kind != AnswerNoJob)
+}
+
+// TestLostCommit guards against an acknowledgement of what was not committed,
+// against a refusal as not run of what may be, and against the loss of a job
+// that was: the state is loaded anew.
+func TestLostCommit(t *testing.T) {
+	g := newFakeGroup()
+	r := start(t, g)
+	ask(t, r, AnswerDone, submit("/q/kept"))
+	g.set(func() { g.fail = errUnknown })
+	assert.Equal(t, r.Call(context.Background(), submit("/q/lost")).Kind, AnswerUnknown)
+	g.set(func() { g.fail = errNotLeader })
+	a := ask(t, r, AnswerUnavailable, submit("/q/refused"))
+	assert.Assert(t, a.Retry > 0)
+	g.set(func() { g.fail = nil })
+	ask(t, r, AnswerDone, Call{Kind: CallStatus, Host: "h", Path: "/q/kept"})
+	ask(t, r, AnswerNoJob, Call{Kind: CallStatus, Host: "h", Path: "/q/refused"})
+}
+
+// TestFollowerRefuses guards against a heartbeat or a call that waits in a
+// process that does not lead.
+func TestFollowerRefuses(t *testing.T) {
+	g := newFakeGroup()
+	r := start(t, g)
+	g.set(func() { g.leads = false })
+	r.Wake()
+	ask(t, r, AnswerUnavailable, Call{Kind: CallStatus, Host: "h", Path: "/q/a"})
+	_, err := beat(r, 1)
+	var e *Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Kind, KindNotLeader)
+}
