--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -199,6 +199,7 @@
 		if d == nil || !w.known || w.draining || w.leaving || w.until < now {
 			continue
 		}
+		b.fleet.room.MilliCores = max(b.fleet.room.MilliCores, w.room.MilliCores)
 		d.have++
 		if w.held || w.aside > now {
 			d.have--
@@ -223,7 +224,10 @@
 			d.have++
 		}
 	}
-	each := max(b.fleet.room.MilliCores, 1)
+	if b.fleet.room.MilliCores == 0 {
+		return nil
+	}
+	each := b.fleet.room.MilliCores
 	for name, d := range by {
 		need := busy[name] + int(b.pool(name).work()/b.set.SurgeMillis)
 		d.want = (need + each - 1) / each
