Log decisions on jobs, and never wait for the reader of the log

Cause: a line for each decision on a request was missing, and a process that wrote to a blocked pipe would stop. Change: lines for acceptance and for the final status with what it rests on; a writer with a ring and a budget for lines of level info, which counts what it drops and keeps warnings, such as late and failed jobs, longest.

--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -135,6 +135,7 @@
 	switch {
 	case rec.Status.Final():
 		if !before.Final() {
+			b.noteEnd(rec, now)
 			b.stopJob(rec)
 		}
 	case how == jobs.HowDone && !r.step.Lasting:
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/heap"
@@ -283,7 +284,36 @@
 	}
 	j.Accepted = max(now, b.State.Time)
 	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.Task{Job: j.ID}, Job: &j}, now)
-	b.enter(b.State.Jobs[j.ID], now)
+	rec := b.State.Jobs[j.ID]
+	b.enter(rec, now)
+	b.noteJob("job-accepted", rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
+		j.Queue, b.State.Config.Version, len(j.Steps), Objective(rec, 0)-now), false)
+}
+
+// noteJob explains a decision on a whole job.
+func (b *Board[O, J]) noteJob(what string, r *jobs.Record, reason string, failure bool) {
+	b.out.Notes = append(b.out.Notes, Note{What: what, Task: jobs.Task{Job: r.ID}, Reason: reason, Failure: failure})
+}
+
+// noteEnd explains the final status of a job: how long it took, and for a late
+// one what kept it.
+func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
+	late := now - Objective(r, len(r.Occurrences)-1)
+	reason := fmt.Sprintf("after %d ms", now-r.Accepted)
+	if late > 0 && r.Status == jobs.StatusCompleted {
+		reason += fmt.Sprintf(", %d ms late", late)
+	}
+	runs, fails := 0, 0
+	for k := range r.Occurrences {
+		for i := range r.Occurrences[k].Steps {
+			for _, t := range r.Occurrences[k].Steps[i].Tasks {
+				runs += t.Run
+				fails += t.Fails
+			}
+		}
+	}
+	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, fails)
+	b.noteJob("job-"+r.Status.String(), r, reason, late > 0 || r.Status == jobs.StatusFailed)
 }
 
 // Cancel ends a job. It reports false for one that is not known.
@@ -294,6 +324,7 @@
 	}
 	if !r.Status.Final() {
 		b.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.Task{Job: id}}, now)
+		b.noteEnd(r, now)
 		b.stopJob(r)
 	}
 	return true
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -194,4 +194,7 @@
 	Run    int
 	Worker jobs.WorkerID
 	Reason string
+	// Failure is set for a decision that a caller may complain about; its line
+	// is kept when others are dropped.
+	Failure bool
 }
--- /dev/null
+++ b/io/trans/logs/async_test.go
@@ -0,0 +1,66 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+)
+
+// blocked is a reader that takes nothing until it is let go.
+type blocked struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.gate
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// TestBlockedReader guards against a request that waits for a reader of the
+// log that has stopped reading: lines are dropped and counted.
+func TestBlockedReader(t *testing.T) {
+	out := &blocked{gate: make(chan struct{})}
+	a := NewAsync(out, clock.Real())
+	const lines = 2 * ringLines
+	for range lines {
+		_, err := a.Write([]byte("level=warn msg=x\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, a.Dropped() >= lines-ringLines-2)
+	close(out.gate)
+	a.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	assert.Assert(t, strings.Contains(out.got.String(), "msg=log-lines-dropped"))
+}
+
+// TestInfoBudget guards against a log whose volume grows with the load, and
+// against the loss of warnings to it.
+func TestInfoBudget(t *testing.T) {
+	var out bytes.Buffer
+	fake := clock.NewFake(0)
+	a := NewAsync(&out, fake.Clock())
+	line := []byte("level=info " + strings.Repeat("x", 1000) + "\n")
+	for range 2 * infoBurst / len(line) {
+		_, _ = a.Write(line)
+	}
+	dropped := a.Dropped()
+	assert.Assert(t, dropped > 0)
+	_, _ = a.Write([]byte("level=warn msg=kept\n"))
+	assert.Equal(t, a.Dropped(), dropped)
+	fake.Advance(clock.Second)
+	_, _ = a.Write(line)
+	assert.Equal(t, a.Dropped(), dropped, "the budget comes back with time")
+	a.once.Do(func() { close(a.done) })
+	<-a.ended
+	assert.Assert(t, strings.Contains(out.String(), "msg=kept"))
+}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -68,7 +68,9 @@
 // RunJobsControl runs a control process that also runs jobs, as far as the
 // options ask for it, until a signal stops it.
 func RunJobsControl(cfg conf.Control, o JobsOptions, out io.Writer) error {
-	lg, err := logs.New(out, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
+	async := logs.NewAsync(out, clock.Real())
+	defer async.Close()
+	lg, err := logs.New(async, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
 	if err != nil {
 		return err
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -68,7 +68,9 @@
 
 // RunEntry runs an entry process until a signal stops it.
 func RunEntry(cfg conf.Entry, out io.Writer) error {
-	lg, err := logs.New(out, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
+	async := logs.NewAsync(out, clock.Real())
+	defer async.Close()
+	lg, err := logs.New(async, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
 	if err != nil {
 		return err
 	}
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -8,7 +8,6 @@
 	"github.com/oklog/run"
 
 	"camphorridge/core/coord/runner"
-	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/place"
 	"camphorridge/core/state/sched"
@@ -94,14 +93,19 @@
 // believes of a run or a worker; starts are counted only.
 func (c *Control) logNotes(all []sched.Note) {
 	for _, n := range all {
-		if n.What == "run-started" {
-			continue
+		level := log.InfoLevel
+		if n.Failure {
+			level = log.WarnLevel
 		}
-		if n.Task.Job == "" {
-			c.log.Info(n.What, "detail", n.Reason)
-			continue
+		switch {
+		case n.What == "run-started":
+		case n.Task.Job == "":
+			c.log.Log(level, n.What, "reason", n.Reason)
+		case n.Run == 0:
+			c.log.Log(level, n.What, "job", n.Task.Job, "reason", n.Reason)
+		default:
+			c.log.Log(level, n.What, "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step,
+				"index", n.Task.Index, "run", n.Run, "worker", n.Worker, "reason", n.Reason)
 		}
-		c.log.Info(n.What, "job", jobs.ID(n.Task.Job), "occurrence", n.Task.Occurrence, "step", n.Task.Step,
-			"index", n.Task.Index, "run", n.Run, "worker", n.Worker, "reason", n.Reason)
 	}
 }
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -120,7 +120,9 @@
 // RunSubmit runs an entry process for submitters until a signal stops it.
 func RunSubmit(o SubmitOptions, out io.Writer) error {
 	clk := clock.Real()
-	lg, err := logs.New(out, logs.Settings{Level: o.LogLevel, Process: o.Name, Zone: o.Zone}, clk)
+	async := logs.NewAsync(out, clk)
+	defer async.Close()
+	lg, err := logs.New(async, logs.Settings{Level: o.LogLevel, Process: o.Name, Zone: o.Zone}, clk)
 	if err != nil {
 		return err
 	}
