--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -44,8 +44,10 @@
 	judge    J
 	set      sched.Settings
 	clock    clock.Clock
-	// notes takes explanations of decisions; it must not wait.
-	notes func([]sched.Note)
+	// notes takes explanations of decisions, and observe the time that each
+	// commit took; both may be nil and must not wait.
+	notes   func([]sched.Note)
+	observe func(clock.Millis)
 
 	in      *ring.Ring[input]
 	commits *ring.Ring[*batch]
@@ -152,13 +154,14 @@
 	Settings sched.Settings
 	Clock    clock.Clock
 	Notes    func([]sched.Note)
+	Observe  func(clock.Millis)
 }
 
 // New returns a runner; Run must be called for it to do anything.
 func New[G Group, M Machines, O sched.Order, J place.Judge](p Parts[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
 		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Order, judge: p.Judge, set: p.Settings,
-		clock: p.Clock, notes: p.Notes,
+		clock: p.Clock, notes: p.Notes, observe: p.Observe,
 		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[action](actionRing),
 		done: make(chan struct{}), ended: make(chan struct{}), waiters: map[jobs.WorkerID]waiter{},
 	}
@@ -424,6 +427,9 @@
 		return
 	}
 	r.confirmed = b.since
+	if r.observe != nil {
+		r.observe(now - b.since)
+	}
 	if b.load {
 		r.loading = false
 		r.board = sched.NewBoard(r.set, r.order, r.judge, b.state, now)
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -58,6 +58,10 @@
 	keeper   *keeperDuty
 	// work is nil in a process that runs no jobs.
 	work *JobsRunner
+	// commits takes the time of each commit of the runner.
+	commits metrics.Histogram
+	// logLines counts the lines of the log that were dropped.
+	logLines func() int64
 }
 
 // RunControl runs a control process until a signal stops it.
@@ -80,6 +84,7 @@
 	}
 	var g run.Group
 	addSignals(&g, lg)
+	c.logLines = async.Dropped
 	if err := c.serveJobs(&g, o); err != nil {
 		return err
 	}
@@ -109,7 +114,7 @@
 	if err != nil {
 		return nil, &Error{Op: "open the data folder", Kind: KindStore, Err: err}
 	}
-	c := &Control{cfg: cfg, clock: clk, log: lg, disk: d}
+	c := &Control{cfg: cfg, clock: clk, log: lg, disk: d, commits: admin.NewHistogram(), logLines: func() int64 { return 0 }}
 	c.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
@@ -217,6 +222,8 @@
 		{"events-dropped", func() int64 { return c.recorder.Counts().Dropped }},
 	})
 	counters(r, usage(c.client.Traffic))
+	counters(r, []counter{{"log-lines-dropped", c.logLines}})
+	c.jobMetrics(r)
 	_ = admin.Value(r, "term", func() int64 { return int64(c.member.Status().Term) })
 	_ = admin.Value(r, "commit-index", func() int64 { return int64(c.member.ask(context.Background()).Commit) })
 	consensusCount := func(f func(group.Counts) int64) func() int64 {
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -6,8 +6,10 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
 
 	"camphorridge/core/coord/runner"
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/place"
 	"camphorridge/core/state/sched"
@@ -66,6 +68,7 @@
 	c.work = runner.New(runner.Parts[*seat, runner.Machines, sched.EarliestObjective, place.Peers]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestObjective{},
 		Judge: place.Peers{Least: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
+		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
 	c.member.changed = c.work.Wake
 	service := JobsService{Runner: c.work, Leader: c.knownLeader, Log: c.log}
@@ -81,6 +84,27 @@
 	return s.Leader.Name, here
 }
 
+// jobMetrics registers what the runner counts.
+func (c *Control) jobMetrics(r metrics.Registry) {
+	if c.work == nil {
+		return
+	}
+	_ = r.Register("job-commit-ms", c.commits)
+	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.work.Counts()) } }
+	counters(r, []counter{
+		{"heartbeats", count(func(n runner.Counts) int64 { return n.Beats })},
+		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleBeats })},
+		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
+		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
+		{"job-operations", count(func(n runner.Counts) int64 { return n.Ops })},
+		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
+		{"runs-started", count(func(n runner.Counts) int64 { return n.Starts })},
+		{"runs-lost", count(func(n runner.Counts) int64 { return n.Lost })},
+		{"runs-failed", count(func(n runner.Counts) int64 { return n.Failed })},
+		{"job-inputs-refused", c.work.Refused},
+	})
+}
+
 // workServer serves submitters' calls; nil in a process that runs no jobs.
 func (c *Control) workServer(s *peers.ControlServer[*seat, *moverDuty]) wirepb.Work {
 	if c.work == nil {
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -9,11 +9,13 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
 
 	"camphorridge/core/coord/record"
 	"camphorridge/core/coord/runner"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
+	"camphorridge/io/trans/admin"
 	"camphorridge/io/trans/front"
 	"camphorridge/io/trans/logs"
 	"camphorridge/io/trans/peers"
@@ -53,6 +55,8 @@
 	Handler        func(Submitter) http.Handler
 	ReadyHandler   func(Submitter) http.Handler
 	MaxHeaderBytes int
+	// Admin is the address for metrics.
+	Admin string
 	// Reload reads the control processes from the settings anew.
 	Reload   func() ([]model.Member, error)
 	LogLevel string
@@ -65,6 +69,31 @@
 	Log     *log.Logger
 	pinged  *atomic.Int64
 	leaving *atomic.Bool
+	stats   *submitStats
+}
+
+// submitStats counts what callers were answered.
+type submitStats struct {
+	// answers counts by kind of answer.
+	answers [runner.AnswerUnknown + 1]atomic.Int64
+	// millis takes the time of each call.
+	millis metrics.Histogram
+}
+
+var answerNames = [...]string{
+	"done", "no-queue", "no-job", "no-wave", "unsupported", "invalid", "unavailable", "unknown",
+}
+
+// registry returns the metrics of the process.
+func (s Submitter) registry(client *peers.Client, dropped func() int64) metrics.Registry {
+	r := metrics.NewRegistry()
+	for kind, name := range answerNames {
+		counters(r, []counter{{"calls-" + name, s.stats.answers[kind].Load}})
+	}
+	counters(r, usage(client.Traffic))
+	counters(r, []counter{{"log-lines-dropped", dropped}})
+	_ = r.Register("call-ms", s.stats.millis)
+	return r
 }
 
 // Call hands a call to the leader. The answer tells whether the call may have
@@ -72,7 +101,14 @@
 // the caller waits: it is idempotent, and only a definite answer helps the
 // caller. One that was not is refused soon, so that the caller can come back.
 func (s Submitter) Call(ctx context.Context, c runner.Call) runner.Answer {
-	soon := s.clock.Now() + leaderWait
+	began := s.clock.Now()
+	a := s.call(ctx, c, began+leaderWait)
+	s.stats.millis.Update(int64(s.clock.Now() - began))
+	s.stats.answers[a.Kind].Add(1)
+	return a
+}
+
+func (s Submitter) call(ctx context.Context, c runner.Call, soon clock.Millis) runner.Answer {
 	uncertain := false
 	for {
 		a := s.try(ctx, c)
@@ -114,6 +150,14 @@
 	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.pinged.Load()) < pingAge
 }
 
+// notReady is the reason why new callers are not welcome; empty when they are.
+func (s Submitter) notReady() string {
+	if s.Ready() {
+		return ""
+	}
+	return "the leader was not reached lately, or the process stops"
+}
+
 // Leaving reports whether the process is stopping.
 func (s Submitter) Leaving() bool { return s.leaving.Load() }
 
@@ -130,7 +174,7 @@
 	client := peers.NewClient(o.Name, recorder)
 	s := Submitter{
 		leader: peers.NewLeader(client, o.Controls, clk), clock: clk, Log: lg,
-		pinged: &atomic.Int64{}, leaving: &atomic.Bool{},
+		pinged: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{millis: admin.NewHistogram()},
 	}
 	var g run.Group
 	addSignals(&g, lg)
@@ -142,10 +186,18 @@
 	if err != nil {
 		return err
 	}
+	adm, err := admin.New(admin.Config{
+		Address: o.Admin, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
+		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStop, Registry: s.registry(client, async.Dropped),
+	})
+	if err != nil {
+		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
+	}
 	s.addCallers(&g, callers, o)
 	add(&g, &pinger{submitter: s, done: make(chan struct{})})
 	addServer(&g, ready, o.ReadyHandler(s), clock.Second)
 	add(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
+	add(&g, adm)
 	add(&g, recorder)
 	lg.Info("started", "front", o.Front)
 	err = g.Run()
