--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -117,6 +117,18 @@
 	AnswerUnknown
 )
 
+var answerNames = [...]string{
+	"done", "no-queue", "no-job", "no-wave", "unsupported", "invalid", "unavailable", "unknown",
+}
+
+// String returns the name used in logs and metrics.
+func (k AnswerKind) String() string {
+	if k < 0 || int(k) >= len(answerNames) {
+		return "undefined"
+	}
+	return answerNames[k]
+}
+
 // Answer is the answer to a call.
 type Answer struct {
 	Kind   AnswerKind
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -80,15 +80,11 @@
 	millis metrics.Histogram
 }
 
-var answerNames = [...]string{
-	"done", "no-queue", "no-job", "no-wave", "unsupported", "invalid", "unavailable", "unknown",
-}
-
 // registry returns the metrics of the process.
 func (s Submitter) registry(client *peers.Client, dropped func() int64) metrics.Registry {
 	r := metrics.NewRegistry()
-	for kind, name := range answerNames {
-		counters(r, []counter{{"calls-" + name, s.stats.answers[kind].Load}})
+	for kind := range s.stats.answers {
+		counters(r, []counter{{"calls-" + runner.AnswerKind(kind).String(), s.stats.answers[kind].Load}})
 	}
 	counters(r, usage(client.Traffic))
 	counters(r, []counter{{"log-lines-dropped", dropped}})
