--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -283,6 +284,16 @@
 	AnswerUnknown
 )
 
+var platformAnswers = [...]string{"begun", "refused for now", "refused for good", "no answer"}
+
+// String returns the name used in logs.
+func (a Answer) String() string {
+	if a < 0 || int(a) >= len(platformAnswers) {
+		return "undefined"
+	}
+	return platformAnswers[a]
+}
+
 // Acted takes the platform's answer to an action.
 func (b *Board[O, J]) Acted(a Action, o Outcome, now clock.Millis) {
 	switch a.Kind {
@@ -301,10 +312,10 @@
 		return
 	}
 	delete(v.flying, o.Machine)
+	b.out.Notes = append(b.out.Notes, Note{What: "maintenance-answered", Reason: fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, a)})
 	switch a {
 	case AnswerDone:
 		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
-		b.out.Notes = append(b.out.Notes, Note{What: "maintenance-begun", Reason: string(o.Machine)})
 		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
 		if w := b.machines[o.Machine]; w != nil && w.life == v.away[o.Machine].life && !v.repeated[o.Machine] {
 			b.remove(w, "its machine is maintained", now)
