Drop machines that do not exist any more from waves

Change: after eight refusals of a machine the list of machines is read again, and a machine that is not in it counts as begun: it does not stay. A machine that the list calls down keeps the wave open.

--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -257,6 +257,33 @@
 	assert.Assert(t, r.State.Waves[1].Completed())
 }
 
+// TestWaveDropsMissingMachines guards against a wave that never ends because
+// the platform refuses a machine that is gone for good.
+func TestWaveDropsMissingMachines(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, Cap: 1, Deadline: 60_000}, r.now)
+	lists := 0
+	for range 40 {
+		p := r.Pass(r.now)
+		for _, a := range actions(p, ActionMaintain) {
+			r.Acted(a, Outcome{Answer: AnswerLater}, r.now)
+		}
+		for _, a := range actions(p, ActionList) {
+			lists++
+			// The first list still names the machine.
+			machines := []Machine{{ID: "m-other", Pool: "p", Up: true}}
+			if lists == 1 {
+				machines = append(machines, Machine{ID: "m-gone", Pool: "p"})
+			}
+			r.Acted(a, Outcome{Machines: machines}, r.now)
+		}
+		r.now += 200
+	}
+	assert.Equal(t, lists, 2)
+	assert.Assert(t, r.State.Waves[1].Completed())
+}
+
 // TestRepeatedMaintenanceKeepsNewWorker guards against the loss of a worker
 // that came back before the platform answered a repeated order.
 func TestRepeatedMaintenanceKeepsNewWorker(t *testing.T) {
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -153,7 +153,7 @@
 	if f.listed == 0 {
 		wait = listRetry
 	}
-	if !f.listing && (f.asked == 0 || now-f.asked > wait) {
+	if !f.listing && (f.asked == 0 || now-f.asked >= wait) {
 		f.listing, f.asked = true, now
 		b.out.Actions = append(b.out.Actions, Action{Kind: ActionList})
 	}
@@ -173,7 +173,9 @@
 		off[p.Name] = p.Standby
 	}
 	clear(f.standby)
+	listed := make(map[jobs.MachineID]bool, len(o.Machines))
 	for _, m := range o.Machines {
+		listed[m.ID] = true
 		if f.room.MilliCores < m.Room.MilliCores {
 			f.room = m.Room
 		}
@@ -181,6 +183,9 @@
 			f.standby[m.ID] = m.Pool
 		}
 	}
+	if len(listed) > 0 {
+		b.dropMissing(listed, now)
+	}
 }
 
 // loads measures the pools that have queues, those with the most lacking
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -14,6 +14,10 @@
 // refused for now or its answer was lost.
 const orderRetryMillis clock.Millis = 400
 
+// refusalsToList is the number of refusals of a machine after which the list of
+// machines is read again.
+const refusalsToList = 8
+
 // upkeepPeriod separates two looks at the waves.
 const upkeepPeriod clock.Millis = 50
 
@@ -27,6 +31,8 @@
 	next map[jobs.MachineID]clock.Millis
 	// flying holds the machines whose order has no answer yet.
 	flying map[jobs.MachineID]bool
+	// refused counts the refusals of a machine since the last list of machines.
+	refused map[jobs.MachineID]int
 	// repeated holds the machines that were ordered more than once: a good
 	// answer may then speak of the first order.
 	repeated map[jobs.MachineID]bool
@@ -41,7 +47,7 @@
 func newWave(w *jobs.Wave) *wave {
 	v := &wave{
 		Wave: w, away: map[jobs.MachineID]absence{}, next: map[jobs.MachineID]clock.Millis{},
-		flying: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{},
+		flying: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refused: map[jobs.MachineID]int{},
 	}
 	// What an earlier leader ordered may be down now.
 	for m := range w.Ordered {
@@ -327,6 +333,10 @@
 			w.held, w.leaving = false, false
 		}
 	case AnswerLater:
+		if v.refused[o.Machine]++; v.refused[o.Machine] == refusalsToList {
+			// The machine may be gone for good; the list of machines tells.
+			b.fleet.asked = 0
+		}
 		delete(v.away, o.Machine)
 		if w := b.machines[o.Machine]; w != nil {
 			w.leaving = false
@@ -337,6 +347,23 @@
 	}
 }
 
+// dropMissing takes machines that do not exist any more off the waves: none of
+// them stays to be maintained.
+func (b *Board[O, J]) dropMissing(listed map[jobs.MachineID]bool, now clock.Millis) {
+	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
+		v := b.waves[n]
+		clear(v.refused)
+		for _, m := range v.Machines {
+			if v.Begun[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
+				continue
+			}
+			b.apply(jobs.Op{Kind: jobs.OpBegun, Number: v.Number, Machine: m}, now)
+			delete(v.away, m)
+			b.out.Notes = append(b.out.Notes, Note{What: "maintenance-dropped", Reason: fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number)})
+		}
+	}
+}
+
 // maintenanceDue is when the waves have to be looked at again.
 func (b *Board[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range b.waves {
