--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -25,8 +25,8 @@
 	idleMillis = clock.Second
 	// comeBackMillis is when a caller may come back that found no leader.
 	comeBackMillis clock.Millis = 500
-	actors                      = 4
-	actionRing                  = 256
+	actors         int          = 4
+	actionRing     int          = 256
 	// actionTimeout bounds one action of the platform, and actionAge is how old
 	// a committed action may be when it is sent: an older one may meet those of
 	// a later leader.
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -316,7 +316,9 @@
 	assert.Equal(t, len(actions(p, ActionList)), 1)
 	r.Acted(actions(p, ActionList)[0], Outcome{Machines: []Machine{
 		{ID: "s1", Pool: "off", Up: true, Room: jobs.Size{MilliCores: 16_000}},
-		{ID: "s2", Pool: "off", Up: true}, {ID: "s3", Pool: "off"}, {ID: "m-w1", Pool: "p", Up: true},
+		{ID: "s2", Pool: "off", Up: true},
+		{ID: "s3", Pool: "off"},
+		{ID: "m-w1", Pool: "p", Up: true},
 	}}, r.now)
 	many := small
 	many.Count, many.Estimate = 100, 1000
