Publish a dispatcher's state before it answers a command

The copy that others read was stored after the reply to the command, except for tables. Ruled out: the ledger of loans, which had the version. Change: it is stored before every reply.

--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -54,9 +54,6 @@
 	switch c.op {
 	case opTable:
 		c.err = d.merge(now, c.delta)
-		// Drained is stored before the caller learns that the table is in
-		// force, so that a confirmation never claims too much.
-		d.publish()
 	case opHear:
 		c.err = d.hear(now, c.heard)
 	case opNews:
@@ -80,6 +77,10 @@
 	case opLoans:
 		c.loans(now)
 	}
+	// What others read without a message is stored before the caller learns
+	// that the command was carried out: a confirmation never claims too much,
+	// and a caller sees what its command changed.
+	d.publish()
 	close(c.reply)
 }
 
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -110,8 +110,10 @@
 	key  groupKey
 	rec  *jobs.Record
 	step *jobs.Step
-	// waiting holds the indexes of tasks, the next one last.
+	// waiting holds the indexes of tasks, the next one last; since is when the
+	// group began to wait.
 	waiting []int
+	since   clock.Millis
 	rank    Rank
 }
 
@@ -174,8 +176,11 @@
 	p := b.pool(b.poolOf(r))
 	key := groupKey{t.Job, t.Occurrence, t.Step}
 	g := p.index[key]
+	if g != nil && len(g.waiting) == 0 {
+		g.since = now
+	}
 	if g == nil {
-		g = &group{key: key, rec: r, step: &r.Steps[t.Step], rank: b.order.Rank(r, t.Occurrence, now)}
+		g = &group{key: key, rec: r, step: &r.Steps[t.Step], rank: b.order.Rank(r, t.Occurrence, now), since: now}
 		p.index[key] = g
 		p.groups = append(p.groups, g)
 		p.sorted = false
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -328,6 +328,22 @@
 	assert.DeepEqual(t, moves, []Action{{Kind: ActionMove, Machine: "s1", Pool: "p"}, {Kind: ActionMove, Machine: "s2", Pool: "p"}})
 }
 
+// TestLastingTasksGetMachines guards against lasting tasks that wait for good
+// because their step may have one task on a worker and its pool has fewer
+// workers than tasks.
+func TestLastingTasksGetMachines(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.submit("serve", jobs.Step{Count: 3, Need: jobs.Size{MilliCores: 100, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1})
+	r.fleet.listed, r.fleet.asked = r.now, r.now
+	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
+	r.hear("w1", 1, nil)
+	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 1)
+	r.now += 2 * unplacedMillis
+	r.hear("w1", 1, nil)
+	assert.Equal(t, len(actions(r.Pass(r.now), ActionMove)), 2)
+}
+
 // TestIdleMachinesGoOff guards against machines that are paid for while they
 // run nothing, beyond the reserve.
 func TestIdleMachinesGoOff(t *testing.T) {
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -23,6 +23,9 @@
 	moveLost = 5 * clock.Second
 	// moveRetry keeps a machine from being tried again at once after a refusal.
 	moveRetry = clock.Second
+	// unplacedMillis is how long a lasting task waits until its pool wants
+	// another machine for it: as long as a heartbeat may be held back.
+	unplacedMillis clock.Millis = 800
 	// notePeriod separates two reports of the load.
 	notePeriod = 2 * clock.Second
 )
@@ -236,6 +239,9 @@
 	for name, d := range by {
 		need := busy[name] + int(b.pool(name).work()/b.set.SurgeMillis)
 		d.want = (need + each - 1) / each
+		if n := b.pool(name).unplaced(now); n > 0 {
+			d.want = max(d.want, d.have+n)
+		}
 		slices.SortStableFunc(d.busy, func(x, y *worker) int {
 			return cmp.Or(-compareBool(x.parting, y.parting), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
 		})
@@ -246,6 +252,20 @@
 	})
 }
 
+// unplaced is the number of machines that lasting tasks lack which no present
+// one could take, most of all because only so many tasks of a step may be on one
+// worker.
+func (p *pool) unplaced(now clock.Millis) int {
+	n := 0
+	for _, g := range p.groups {
+		if g.step.Lasting && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
+			each := max(g.step.PerWorker, 1)
+			n = max(n, (len(g.waiting)+each-1)/each)
+		}
+	}
+	return n
+}
+
 func compareBool(x, y bool) int {
 	switch {
 	case x == y:
