Move machines by what arrives, and keep a fleet on until its first load

Change: a pool wants room for its lasting tasks, for the work that arrives, averaged over half a second, and for what waits or runs on, spread over the time in which it is to start; lasting tasks that no machine takes bring more; nothing is turned off before work that ends was handed in.

--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -95,6 +95,11 @@
 	index  map[groupKey]*group
 	// present holds the workers whose heartbeat waits for an answer.
 	present map[jobs.WorkerID]*worker
+	// arrived is the work that was handed in since the last look at the load, in
+	// thousandths of a processor times milliseconds, and rate what arrives, in
+	// thousandths of a processor, averaged over about half a second.
+	arrived clock.Millis
+	rate    float64
 	// records is how tasks of the pool fared on its workers, by queue.
 	records map[jobs.QueueName]*place.Record
 }
@@ -155,6 +160,10 @@
 }
 
 func (b *Board[O, J]) enterOccurrence(r *jobs.Record, k int, now clock.Millis) {
+	p := b.pool(b.poolOf(r))
+	for i := range r.Steps {
+		p.arrived += ending(&r.Steps[i], r.Steps[i].Count, r.Steps[i].Estimate)
+	}
 	for i := range r.Steps {
 		if !r.Ready(k, i) {
 			continue
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -349,7 +349,7 @@
 func TestIdleMachinesGoOff(t *testing.T) {
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
-	r.fleet.listed, r.fleet.asked = r.now, r.now
+	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
 	ids := []string{"w1", "w2", "w3", "w4"}
 	for range 4 {
 		for _, id := range ids {
@@ -366,6 +366,21 @@
 	t.Fatal("no machine was moved")
 }
 
+// TestFleetWaitsForItsFirstLoad guards against a fleet that is turned off
+// between its start and its first job, and is missing when that comes.
+func TestFleetWaitsForItsFirstLoad(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.fleet.listed, r.fleet.asked = r.now, r.now
+	for range 10 {
+		for _, id := range []string{"w1", "w2", "w3", "w4"} {
+			r.hear(id, 1, nil)
+		}
+		assert.Equal(t, len(actions(r.Pass(r.now), ActionMove)), 0)
+		r.now += clock.Second
+	}
+}
+
 // TestLateWorkGoesLast guards against a surge in which every job is started
 // just too late: work that will miss its objective waits for work that can
 // still meet its.
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -44,6 +44,8 @@
 	listing bool
 	asked   clock.Millis
 	listed  clock.Millis
+	// worked is set once work that ends was handed in.
+	worked bool
 	// next is the time of the next look, and noted that of the last line.
 	next  clock.Millis
 	noted clock.Millis
@@ -106,9 +108,23 @@
 		}
 	}
 	b.part(loads, lack)
+	if !b.worked() {
+		return
+	}
 	b.dismiss(loads, standby, now)
 }
 
+// worked reports whether work that ends was handed in. Before that a fleet that
+// has only started would be turned off just ahead of its first load.
+func (b *Board[O, J]) worked() bool {
+	if !b.fleet.worked {
+		for _, r := range b.State.Jobs {
+			b.fleet.worked = b.fleet.worked || !lasting(&r.Job)
+		}
+	}
+	return b.fleet.worked
+}
+
 // noteLoads adds a line for each pool to the plan every few seconds.
 func (b *Board[O, J]) noteLoads(loads []*demand, now clock.Millis) {
 	if now < b.fleet.noted+notePeriod {
@@ -200,7 +216,7 @@
 			by[p.Name] = &demand{name: p.Name}
 		}
 	}
-	busy := map[jobs.PoolName]int{}
+	busy := map[jobs.PoolName]clock.Millis{}
 	for _, id := range slices.Sorted(maps.Keys(b.workers)) {
 		w := b.workers[id]
 		d := by[w.pool]
@@ -213,7 +229,7 @@
 			d.have--
 			continue
 		}
-		busy[w.pool] += w.used.MilliCores
+		busy[w.pool] += w.load(now, b.set.SurgeMillis)
 		if len(w.runs)+len(w.strays) == 0 {
 			if w.idle == 0 {
 				w.idle = now
@@ -237,7 +253,9 @@
 	}
 	each := b.fleet.room.MilliCores
 	for name, d := range by {
-		need := busy[name] + int(b.pool(name).work()/b.set.SurgeMillis)
+		p := b.pool(name)
+		p.average()
+		need := int(busy[name] + p.work()/b.set.SurgeMillis + clock.Millis(p.rate))
 		d.want = (need + each - 1) / each
 		if n := b.pool(name).unplaced(now); n > 0 {
 			d.want = max(d.want, d.have+n)
@@ -276,6 +294,38 @@
 	return -1
 }
 
+// ending is the work of some tasks of a step that ends, in thousandths of a
+// processor times milliseconds; 0 for tasks that last or fill.
+func ending(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
+	if s.Lasting || s.Filler {
+		return 0
+	}
+	return clock.Millis(tasks*s.Need.MilliCores) * each
+}
+
+// load is the room that the worker's tasks need within a time: all of it for
+// lasting tasks, and for others what is left of their work.
+func (w *worker) load(now, within clock.Millis) clock.Millis {
+	sum := clock.Millis(0)
+	for _, r := range w.runs {
+		if r.step.Lasting {
+			sum += clock.Millis(counted(r.step).MilliCores)
+			continue
+		}
+		sum += ending(r.step, 1, max(r.started+r.step.Estimate-now, 0)) / within
+	}
+	return sum
+}
+
+// rateWeight is the part of the latest look in the average of what arrives.
+const rateWeight = 0.3
+
+// average folds what arrived since the last look into the rate.
+func (p *pool) average() {
+	p.rate += rateWeight * (float64(p.arrived/surgePeriod) - p.rate)
+	p.arrived = 0
+}
+
 // work sums the waiting work of a pool that can still be on time, in
 // thousandths of a processor times milliseconds.
 func (p *pool) work() clock.Millis {
