Move the relay of tests to the stand-ins

Cause: the fault soak of the platform's path needs it too. Change: stand.Relay, behaviour as before.

--- a/tests/config_test.go
+++ b/tests/config_test.go
@@ -138,7 +138,7 @@
 // on its old table after the partition.
 func TestCutZoneServesAndHeals(t *testing.T) {
 	s := serving(t, threeZones("merge"))
-	s.cut("zc", relaySilent)
+	s.cut("zc", stand.RelaySilent)
 	v := s.retune(3, 950)
 	s.inForce(v, "e1", "e2", "e3", "e4", "e5")
 	ran := 0
@@ -173,7 +173,7 @@
 		assert.Equal(t, s.runsOf(fmt.Sprintf("keyed-%d", i)), 0)
 	}
 	assert.Assert(t, s.version(s.find("e6")) < v, "the cut does not work")
-	s.cut("zc", relayForward)
+	s.cut("zc", stand.RelayForward)
 	s.inForce(v)
 	for _, e := range s.callerAddrs("zc") {
 		s.wait("a keyed request in the healed zone", func() bool {
@@ -192,7 +192,7 @@
 func TestRestartInCutZone(t *testing.T) {
 	s := serving(t, threeZones("merge"))
 	e6, e7 := s.find("e6"), s.find("e7")
-	s.cut("zc", relaySilent)
+	s.cut("zc", stand.RelaySilent)
 	s.wait("the control member of the zone to hear no leader", func() bool { return !s.isReady(s.find("c3").admin) })
 	s.kill("e7")
 	floor := s.version(e6)
@@ -205,6 +205,6 @@
 		return err == nil && status == http.StatusOK
 	})
 	v := s.retune(3, 970)
-	s.cut("zc", relayForward)
+	s.cut("zc", stand.RelayForward)
 	s.inForce(v, "e6", "e7")
 }
--- a/tests/control_test.go
+++ b/tests/control_test.go
@@ -164,7 +164,7 @@
 	l.upstreams = map[string][]string{"za": {"merge"}, "zb": {"merge"}, "zc": {"merge"}}
 	s := serving(t, l)
 	away := s.follower()
-	s.cut(away.zone, relaySilent)
+	s.cut(away.zone, stand.RelaySilent)
 	first := s.metrics(away)["commit_index"]
 	var open []string
 	for _, e := range s.entries {
@@ -185,7 +185,7 @@
 	now := s.metrics(away)["commit_index"]
 	assert.Assert(t, now < first+100, "the cut does not work: the commit index went from %v to %v", first, now)
 	term := s.leaderTerm()
-	s.cut(away.zone, relayForward)
+	s.cut(away.zone, stand.RelayForward)
 	s.caughtUp(away)
 	assert.Equal(t, s.leaderTerm(), term, "the member that came back forced an election")
 	s.kill(s.leader().name)
--- a/tests/lend_test.go
+++ b/tests/lend_test.go
@@ -97,12 +97,12 @@
 	assert.NilError(t, <-done)
 
 	entry := s.callerAddrs("zb")[0]
-	s.cut("zb", relaySilent)
+	s.cut("zb", stand.RelaySilent)
 	s.wait("the loans of the zone cut off to end", func() bool {
 		status, outcome, _, err := call(t, entry, "merge", nil)
 		return err == nil && status == http.StatusServiceUnavailable && outcome == "not-run"
 	})
-	s.cut("zb", relayForward)
+	s.cut("zb", stand.RelayForward)
 	s.wait("loans after the cut", func() bool {
 		status, _, _, err := call(t, entry, "merge", nil)
 		return err == nil && status == http.StatusOK
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -62,7 +62,7 @@
 	// concurrency is that of the contracts; 0 derives it from the instances.
 	concurrency int
 	// relays holds the relay from a zone to a process of another zone.
-	relays   map[string]*relay
+	relays   map[string]*stand.Relay
 	platform map[string]*stand.Platform
 }
 
@@ -113,7 +113,7 @@
 	octet := claimNetwork(t)
 	s := &system{
 		t: t, dir: t.TempDir(), octet: octet,
-		relays: map[string]*relay{}, platform: map[string]*stand.Platform{},
+		relays: map[string]*stand.Relay{}, platform: map[string]*stand.Platform{},
 	}
 	for i, z := range l.controls {
 		s.controls = append(s.controls, s.newProcess(fmt.Sprintf("c%d", i+1), z, "control"))
@@ -178,7 +178,7 @@
 		r = newRelay(s.t, s.host()+":7000", p.peers)
 		s.relays[key] = r
 	}
-	return r.addr()
+	return r.Addr()
 }
 
 func (s *system) writeSettings(p *process, extra string) {
@@ -288,11 +288,11 @@
 }
 
 // cut sets the mode of all relays between a zone and the others.
-func (s *system) cut(zone string, m relayMode) {
+func (s *system) cut(zone string, m stand.RelayMode) {
 	for key, r := range s.relays {
 		from, to, _ := strings.Cut(key, ">")
 		if from == zone || s.find(to).zone == zone {
-			r.set(m)
+			r.Set(m)
 		}
 	}
 }
