Confirm the leadership again after a suspension

Cause: a suspended machine's clock stands still, so that a leader which wakes up takes an old confirmation for a fresh one and could grant leases that the next leader does not wait for (found by reading; no run showed it). Change: a change of the skew between the time of day and the clock by more than 200 ms drops the confirmation.

--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -21,6 +21,8 @@
 	// confirmMillis is the age from which a confirmation of the leadership is
 	// renewed before a lease is granted on it.
 	confirmMillis clock.Millis = 300
+	// pauseMillis is the change of the clock's skew that counts as a suspension.
+	pauseMillis clock.Millis = 200
 	// idleMillis is the longest pause between two looks at the leadership.
 	idleMillis = clock.Second
 	// comeBackMillis is when a caller may come back that found no leader.
@@ -67,7 +69,9 @@
 	flying *batch
 	// confirmed is a time at which this process certainly led.
 	confirmed clock.Millis
-	waiters   map[jobs.WorkerID]waiter
+	// skew is the clock's when it last changed by more than pauseMillis.
+	skew    clock.Millis
+	waiters map[jobs.WorkerID]waiter
 	// retryAt is when the state may be loaded again after a failed commit.
 	retryAt clock.Millis
 	timer   <-chan struct{}
@@ -251,6 +255,7 @@
 		}
 		r.lead()
 		now := r.clock.Now()
+		r.notePause()
 		for i := range buf {
 			r.take(&buf[i], now)
 		}
@@ -260,6 +265,17 @@
 	}
 }
 
+// notePause drops the confirmation of the leadership after a suspension of the
+// machine, during which the clock stood still: its age is not what it seems.
+// A step of the time of day looks the same and costs one confirmation.
+func (r *Runner[G, M, O, J]) notePause() {
+	skew := r.clock.Skew()
+	if d := skew - r.skew; d > pauseMillis || d < -pauseMillis {
+		r.confirmed = 0
+		r.skew = skew
+	}
+}
+
 // lead follows the leadership: what was decided in an earlier term and is not
 // committed is dropped, and the state is loaded anew.
 func (r *Runner[G, M, O, J]) lead() {
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -295,6 +295,21 @@
 	ask(t, r, AnswerNoJob, Call{Kind: CallStatus, Host: "h", Path: "/q/refused"})
 }
 
+// TestLeaseAfterSuspension guards against a leader that was suspended, during
+// which its clock stood still, and grants leases on an old confirmation.
+func TestLeaseAfterSuspension(t *testing.T) {
+	fake := clock.NewFake(100_000)
+	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
+		Group: newFakeGroup(), Judge: place.Peers{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+	})
+	r.confirmed = 99_900
+	r.notePause()
+	assert.Equal(t, r.confirmed, clock.Millis(99_900))
+	fake.Suspend(5 * clock.Second)
+	r.notePause()
+	assert.Equal(t, r.confirmed, clock.Millis(0))
+}
+
 // TestFollowerRefuses guards against a heartbeat or a call that waits in a
 // process that does not lead.
 func TestFollowerRefuses(t *testing.T) {
--- a/core/state/clock/clock.go
+++ b/core/state/clock/clock.go
@@ -48,6 +48,15 @@
 	return Millis(start.UnixMilli()) + Of(time.Since(start))
 }
 
+// Skew is the time of day less Now. It changes when the time of day is set, and
+// when the machine is suspended: Now stands still meanwhile.
+func (c Clock) Skew() Millis {
+	if c.fake != nil {
+		return c.fake.skewed()
+	}
+	return Millis(time.Now().UnixMilli()) - c.Now()
+}
+
 // After returns a channel that is closed once d has passed.
 func (c Clock) After(d Millis) <-chan struct{} {
 	if c.fake != nil {
@@ -62,6 +71,7 @@
 type Fake struct {
 	mu     sync.Mutex
 	now    Millis
+	skew   Millis
 	timers []timer
 }
 
@@ -83,6 +93,19 @@
 	return f.now
 }
 
+// Suspend moves the time of day by d while f stands still.
+func (f *Fake) Suspend(d Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.skew += d
+}
+
+func (f *Fake) skewed() Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.skew
+}
+
 // Advance moves the clock by d and fires the timers that fall due.
 func (f *Fake) Advance(d Millis) {
 	f.mu.Lock()
