Move machines of pools also while the list of machines cannot be read

Cause: found on reading: a platform that does not answer the list turned all moves off. Change: without a list, machines that are off are not known, but those of pools move. Result: tests of sched pass.

--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -42,8 +42,10 @@
 	room jobs.Size
 	// listing is set while a list is on its way; listed is when the last came.
 	listing bool
-	asked   clock.Millis
-	listed  clock.Millis
+	// unlisted is set when a reading of the list failed.
+	unlisted bool
+	asked    clock.Millis
+	listed   clock.Millis
 	// worked is set once work that ends was handed in.
 	worked bool
 	// next is the time of the next look, and noted that of the last line.
@@ -108,10 +110,9 @@
 		}
 	}
 	b.part(loads, lack)
-	if !b.worked() {
-		return
+	if b.worked() {
+		b.dismiss(loads, standby, now)
 	}
-	b.dismiss(loads, standby, now)
 }
 
 // worked reports whether work that ends was handed in. Before that a fleet that
@@ -165,7 +166,7 @@
 }
 
 // list asks for the list of machines when it is old, and reports whether one
-// has come in this term.
+// has come, or failed to come, in this term.
 func (b *Board[O, J]) list(now clock.Millis) bool {
 	f := &b.fleet
 	wait := listPeriod
@@ -176,7 +177,7 @@
 		f.listing, f.asked = true, now
 		b.out.Actions = append(b.out.Actions, Action{Kind: ActionList})
 	}
-	return f.listed != 0
+	return f.listed != 0 || f.unlisted
 }
 
 // machinesListed takes the list of machines.
@@ -184,6 +185,8 @@
 	f := &b.fleet
 	f.listing = false
 	if o.Answer != AnswerDone {
+		// Machines that are off are not known, but those of the pools are.
+		f.unlisted = true
 		return
 	}
 	f.listed = now
