Keep a wave's cap over a change of leader and refused orders

A refusal of a repeated order also ended the absence of a machine that the first order may have taken down. Change: while more machines may be down than the cap, none is ordered; a refused repetition keeps the absence.

--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -257,6 +257,40 @@
 	assert.Assert(t, r.State.Waves[1].Completed())
 }
 
+// TestNewLeaderKeepsCap guards against more machines down than the cap: an
+// earlier leader had ordered more, because some were refused, and its successor
+// repeated all orders at once.
+func TestNewLeaderKeepsCap(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	machines := []jobs.MachineID{"m1", "m2", "m3", "m4", "m5"}
+	r.Declare(jobs.Wave{Number: 1, Machines: machines, Cap: 2, Deadline: 5000}, r.now)
+	for range 5 {
+		for _, a := range actions(r.Pass(r.now), ActionMaintain) {
+			r.Acted(a, Outcome{Answer: AnswerLater}, r.now)
+		}
+		r.now += upkeepPeriod
+	}
+	next := &rig{testBoard: NewBoard(r.set, EarliestObjective{}, place.Peers{Least: 3}, r.State.Clone(), r.now), now: r.now}
+	assert.Assert(t, len(next.State.Waves[1].Ordered) > 2)
+	down := map[jobs.MachineID]clock.Millis{}
+	for range 400 {
+		for _, a := range actions(next.Pass(next.now), ActionMaintain) {
+			down[a.Machine] = next.now + next.set.DownMillis
+			next.Acted(a, Outcome{Answer: AnswerDone}, next.now)
+		}
+		n := 0
+		for _, until := range down {
+			if until > next.now {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 2, "%d machines are down", n)
+		next.now += upkeepPeriod
+	}
+	assert.Assert(t, next.State.Waves[1].Completed())
+}
+
 // TestWaveDropsMissingMachines guards against a wave that never ends because
 // the platform refuses a machine that is gone for good.
 func TestWaveDropsMissingMachines(t *testing.T) {
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -125,6 +125,9 @@
 		_, away := v.away[m]
 		switch {
 		case v.next[m] > now:
+		case away && len(v.away) > v.Cap:
+			// An earlier leader ordered more than the cap, as some were refused.
+			// Which of them are down is not known until all must be back.
 		case away:
 			// The answer to an earlier order was lost.
 			b.orderMaintenance(v, m, w, now)
@@ -266,8 +269,11 @@
 		a.life = w.life
 		w.held, w.leaving = true, true
 	}
-	if old, ok := v.away[m]; ok && old.life != 0 {
-		a.life = old.life
+	if old, ok := v.away[m]; ok {
+		a.from = old.from
+		if old.life != 0 {
+			a.life = old.life
+		}
 	}
 	v.away[m] = a
 	v.flying[m] = true
@@ -337,12 +343,16 @@
 			// The machine may be gone for good; the list of machines tells.
 			b.fleet.asked = 0
 		}
-		delete(v.away, o.Machine)
+		// A repeated order may be refused because the first was carried out.
+		if !v.repeated[o.Machine] {
+			delete(v.away, o.Machine)
+		}
 		if w := b.machines[o.Machine]; w != nil {
 			w.leaving = false
 		}
 		v.next[o.Machine] = now + orderRetryMillis
 	case AnswerUnknown:
+		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
 		v.next[o.Machine] = now + orderRetryMillis
 	}
 }
