Test the replicated state of jobs, and drop an ended job's specification

Change: tables and properties; the specification goes with the end, jobs are remembered for three minutes.

--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -3,8 +3,8 @@
 import "camphorridge/core/state/clock"
 
 // Retention is how long an ended job is remembered. Submitters ask for two
-// minutes.
-const Retention = 5 * clock.Minute
+// minutes; a snapshot of what is remembered holds the group up while it is made.
+const Retention = 3 * clock.Minute
 
 // State is the replicated state of submitted work.
 type State struct {
@@ -126,6 +126,8 @@
 
 func (s *State) finish(r *Record, to Status) {
 	r.Status, r.Ended = to, s.Time
+	// Nothing of an ended job is started any more.
+	r.Spec = ""
 	s.Ended = append(s.Ended, r.ID)
 }
 
--- /dev/null
+++ b/core/state/jobs/state_test.go
@@ -0,0 +1,103 @@
+package jobs
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+)
+
+func submitted(id ID, steps ...Step) Op {
+	return Op{Kind: OpSubmit, Job: &Job{ID: id, Queue: "q", Pool: "p", Spec: "s", Attempts: 2, Steps: steps}}
+}
+
+func assigned(t Task, run int) Op {
+	return Op{Kind: OpAssign, Task: t, Run: run, Worker: "w", Life: 1}
+}
+
+func ended(t Task, run int, how How) Op {
+	return Op{Kind: OpEnd, Task: t, Run: run, How: how, Saved: "c"}
+}
+
+// TestStatus is the table of how operations change a job's status.
+func TestStatus(t *testing.T) {
+	one, two := Task{Job: "a"}, Task{Job: "a", Step: 1}
+	steps := []Step{{Count: 1}, {Count: 1, After: []int{0}}}
+	lasting := []Step{{Count: 1, Lasting: true}}
+	for _, c := range []struct {
+		name  string
+		steps []Step
+		ops   []Op
+		want  Status
+	}{
+		{"accepted", steps, nil, StatusQueued},
+		{"started", steps, []Op{assigned(one, 1)}, StatusRunning},
+		{"one step done", steps, []Op{assigned(one, 1), ended(one, 1, HowDone)}, StatusRunning},
+		{"all done", steps, []Op{assigned(one, 1), ended(one, 1, HowDone), assigned(two, 1), ended(two, 1, HowDone)}, StatusCompleted},
+		{"failed once", steps, []Op{assigned(one, 1), ended(one, 1, HowFailed)}, StatusRunning},
+		{"failed twice", steps, []Op{assigned(one, 1), ended(one, 1, HowFailed), assigned(one, 2), ended(one, 2, HowFailed)}, StatusFailed},
+		{"lost twice", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 2, HowLost)}, StatusRunning},
+		{"end of an earlier run", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 1, HowDone)}, StatusRunning},
+		{"cancelled", steps, []Op{{Kind: OpCancel, Task: one}}, StatusCancelled},
+		{"cancelled after its end", steps, []Op{assigned(one, 1), ended(one, 1, HowDone), assigned(two, 1), ended(two, 1, HowDone), {Kind: OpCancel, Task: one}}, StatusCompleted},
+		{"done after a cancel", steps, []Op{assigned(one, 1), {Kind: OpCancel, Task: one}, ended(one, 1, HowDone)}, StatusCancelled},
+		{"lasting task ended well", lasting, []Op{assigned(one, 1), ended(one, 1, HowDone)}, StatusRunning},
+		{"lasting task failed often", lasting, []Op{assigned(one, 1), ended(one, 1, HowFailed), assigned(one, 2), ended(one, 2, HowFailed)}, StatusRunning},
+		{"submitted again", steps, []Op{assigned(one, 1), submitted("a", steps...)}, StatusRunning},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			s.Apply(append([]Op{submitted("a", c.steps...)}, c.ops...), 1)
+			assert.Equal(t, s.Jobs["a"].Status, c.want)
+		})
+	}
+}
+
+// TestRunNumbersGrow guards against two starts under one number, which a worker
+// would take for one.
+func TestRunNumbersGrow(t *testing.T) {
+	task := Task{Job: "a"}
+	s := New()
+	s.Apply([]Op{submitted("a", Step{Count: 1}), assigned(task, 1), ended(task, 1, HowLost), assigned(task, 1)}, 1)
+	assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
+	s.Apply([]Op{assigned(task, 2)}, 1)
+	assert.Equal(t, s.Task(task).Run, 2)
+	assert.Equal(t, s.Task(task).Saved, "c")
+}
+
+// TestEndedJobsAreForgotten guards against a state that grows for good, and
+// against one that forgets a job while its submitter may ask for it.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	s := New()
+	s.Apply([]Op{submitted("a", Step{Count: 1}), {Kind: OpCancel, Task: Task{Job: "a"}}}, 1000)
+	s.Apply(nil, 1000+Retention-1)
+	assert.Assert(t, s.Jobs["a"] != nil)
+	s.Apply(nil, 1000+Retention)
+	assert.Assert(t, s.Jobs["a"] == nil)
+	assert.Assert(t, Retention >= 2*clock.Minute)
+}
+
+// TestCloneSharesNothing guards against a leader's copy through which
+// uncommitted operations reach the committed state.
+func TestCloneSharesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		task := Task{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
+		s.Apply([]Op{submitted("a", Step{Count: 3}), {Kind: OpWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
+		c := s.Clone()
+		c.Apply([]Op{assigned(task, 1), ended(task, 1, HowDone), {Kind: OpBegun, Number: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
+		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
+		assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
+		assert.Equal(t, len(s.Waves[1].Begun), 0)
+		assert.Equal(t, len(s.Ended), 0)
+	})
+}
+
+// TestObjectiveChain guards against an objective that counts steps side by side
+// as if they followed on each other.
+func TestObjectiveChain(t *testing.T) {
+	j := Job{Steps: []Step{{Estimate: 100}, {Estimate: 300}, {Estimate: 50, After: []int{0}}, {Estimate: 10, After: []int{1, 2}}}}
+	assert.Equal(t, j.Chain(), clock.Millis(310))
+}
