Give a worker tasks again when its machine was not taken away

Cause: found on reading: after an order that the platform did not answer, a worker whose machine stayed got no task for good; and a wave looked a job up that may be forgotten while a task of it still runs, which would end the process. Change: a worker that is still there after the time that the order takes is used again; the wave uses the run's own record. Result: TestLostMoveGivesWorkerBack fails before.

--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -400,6 +400,42 @@
 	t.Fatal("no machine was moved")
 }
 
+// TestLostMoveGivesWorkerBack guards against a worker that gets no task for good
+// because the platform did not answer the order to move its machine.
+func TestLostMoveGivesWorkerBack(t *testing.T) {
+	r := newRig(Defaults())
+	r.now += r.set.QuietMillis
+	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
+	for range 12 {
+		for _, id := range []string{"w1", "w2", "w3"} {
+			r.hear(id, 1, nil)
+		}
+		for _, a := range actions(r.Pass(r.now), ActionMove) {
+			r.Acted(a, Outcome{Answer: AnswerUnknown}, r.now)
+		}
+		r.now += clock.Second
+	}
+	leaving := 0
+	for _, w := range r.workers {
+		if w.leaving {
+			leaving++
+		}
+	}
+	assert.Assert(t, leaving <= 1)
+	r.now += 2 * moveLost
+	wide := small
+	wide.Count, wide.PerWorker = 3, 1
+	r.submit("a", wide)
+	for range 2 {
+		for _, id := range []string{"w1", "w2", "w3"} {
+			r.hear(id, 1, nil)
+		}
+		r.Pass(r.now)
+		r.now += surgePeriod
+	}
+	assert.Equal(t, r.State.Jobs["a"].Occurrences[0].Steps[0].Tasks[2].Phase, jobs.PhaseAssigned)
+}
+
 // TestFleetWaitsForItsFirstLoad guards against a fleet that is turned off
 // between its start and its first job, and is missing when that comes.
 func TestFleetWaitsForItsFirstLoad(t *testing.T) {
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -96,6 +96,7 @@
 	for m, v := range b.fleet.moves {
 		if now-v.at > moveLost {
 			delete(b.fleet.moves, m)
+			b.stay(b.machines[m], v.life)
 		}
 	}
 	loads := b.loads(now)
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -101,10 +101,20 @@
 		}
 		if back || now >= max(a.from, b.began)+most {
 			delete(v.away, m)
+			b.stay(w, a.life)
 		}
 	}
 }
 
+// stay gives tasks again to a worker whose machine was ordered away and is still
+// there after the time that this takes: the order was not carried out.
+func (b *Board[O, J]) stay(w *worker, life jobs.Life) {
+	if w != nil && w.life == life && w.leaving {
+		w.leaving = false
+		b.dirty[b.pool(w.pool)] = true
+	}
+}
+
 // advance gives the orders that the cap allows. No more machines are down at a
 // time than the deadline calls for, and those of pools without waiting work go
 // first, so that a wave takes little room while a pool needs it.
@@ -193,6 +203,7 @@
 	}
 	late := b.late(v, now)
 	lost := map[groupKey]int{}
+	recs := map[groupKey]*jobs.Record{}
 	for t, r := range w.runs {
 		switch {
 		case !r.step.Lasting:
@@ -200,11 +211,13 @@
 				return false
 			}
 		case r.step.MayMiss > 0 && r.atWork():
-			lost[groupKey{t.Job, t.Occurrence, t.Step}]++
+			k := groupKey{t.Job, t.Occurrence, t.Step}
+			lost[k]++
+			recs[k] = r.rec
 		}
 	}
 	for k, n := range lost {
-		rec := b.State.Jobs[k.job]
+		rec := recs[k]
 		if rec.Status.Final() {
 			continue
 		}
