--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -62,8 +62,6 @@
 	// What follows is touched by the duty's goroutine alone.
 	board *sched.Board[O, J]
 	term  uint64
-	// loading is set while the state for term is on its way.
-	loading bool
 	// next collects what the passes decided; flying is being committed.
 	next   batch
 	flying *batch
@@ -290,7 +288,7 @@
 	if !ok {
 		return
 	}
-	r.term, r.loading = term, true
+	r.term = term
 	r.fly(&batch{load: true, term: term, since: r.clock.Now()})
 }
 
@@ -299,7 +297,7 @@
 	if r.board != nil {
 		r.n.Resets++
 	}
-	r.board, r.loading = nil, false
+	r.board = nil
 	r.fail(&r.next, failf(err.Op, KindNotLeader, "%w", err.Err))
 	r.next = batch{}
 	for id, w := range r.waiters {
@@ -447,7 +445,6 @@
 		r.observe(now - b.since)
 	}
 	if b.load {
-		r.loading = false
 		r.board = sched.NewBoard(r.set, r.order, r.judge, b.state, now)
 		return
 	}
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -410,8 +410,8 @@
 	}
 }
 
-// inWave reports whether a wave still has to maintain the machine: it is left
-// where it is until then.
+// inWave reports whether a machine may be down for a wave; it is not moved
+// meanwhile.
 func (b *Board[O, J]) inWave(m jobs.MachineID) bool {
 	for _, v := range b.waves {
 		if _, away := v.away[m]; away || v.flying[m] {
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -66,21 +65,15 @@
 	platform map[string]*stand.Platform
 }
 
-// claimNetwork finds a loopback network, 127.octet.x.y, that no other system
-// uses, also in test runs beside this one, so that addresses never collide. The
-// listener holds the claim.
+// claimPort is the port by which systems exclude each other from a network.
+const claimPort = 6999
+
 func claimNetwork(t testing.TB) int {
 	t.Helper()
-	for i := range 200 {
-		octet := 10 + (os.Getpid()+i)%200
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:6999", octet))
-		if err == nil {
-			t.Cleanup(func() { _ = l.Close() })
-			return octet
-		}
-	}
-	t.Fatal("every loopback network is in use")
-	return 0
+	octet, claim, err := stand.ClaimNetwork(claimPort)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = claim.Close() })
+	return octet
 }
 
 func (s *system) host() string {
