--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -226,7 +226,7 @@
 			continue
 		}
 		if missing == 0 && n > 1 {
-			b.thin(w, k)
+			b.thin(w, k, n)
 		}
 		return false
 	}
@@ -235,11 +235,11 @@
 
 // thin stops one of several tasks of a lasting step on a worker, which together
 // are more than may be away, so that it starts on another worker first.
-func (b *Board[O, J]) thin(w *worker, k groupKey) {
+func (b *Board[O, J]) thin(w *worker, k groupKey, n int) {
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		if id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step && r.listed && !r.stopping {
-			b.stop(w, r, "too many of its step are on a machine to be maintained")
+			b.stop(w, r, fmt.Sprintf("%d of its step are on a machine to be maintained, no other is away", n))
 			return
 		}
 	}
@@ -289,11 +289,28 @@
 		}
 	}
 	v.away[m] = a
+	b.noteOrder(v, m, w)
 	v.flying[m] = true
 	v.next[m] = now + orderRetryMillis
 	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
 }
 
+// noteOrder explains an order: what ends with the machine, and how many tasks of
+// each lasting step are away beside them.
+func (b *Board[O, J]) noteOrder(v *wave, m jobs.MachineID, w *worker) {
+	reason := fmt.Sprintf("machine %s for wave %d, %d of it down or on their way", m, v.Number, len(v.away))
+	if w != nil {
+		for _, t := range sortedTasks(w.runs) {
+			r := w.runs[t]
+			if r.step.MayMiss > 0 {
+				away := b.missing(r.rec, groupKey{t.Job, t.Occurrence, t.Step})
+				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MayMiss)
+			}
+		}
+	}
+	b.out.Notes = append(b.out.Notes, Note{What: "maintenance-ordered", Reason: reason})
+}
+
 // Answer is what the platform said to a maintenance order.
 type Answer int
 
