Use one type with methods for amounts of resources

Cause: placement and scheduling each had their own plus, with a sign, and fits, over two types with the same fields, and the check of quotas summed the fields a third time. Change: jobs.Size has Plus, Minus and Fits; model.Quota and place.Size name it. Behaviour is unchanged. A property test guards against a resource that is left out.

--- /dev/null
+++ b/core/state/jobs/size_test.go
@@ -0,0 +1,29 @@
+package jobs
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func sizes(t *rapid.T, name string) Size {
+	n := rapid.IntRange(-100, 100)
+	return Size{MilliCores: n.Draw(t, name+"-cores"), MemoryMiB: n.Draw(t, name+"-memory"), Accelerators: n.Draw(t, name+"-accelerators")}
+}
+
+// TestSizeArithmetic guards against a resource that is left out of a sum or of
+// a comparison: room would leak with each task that ends.
+func TestSizeArithmetic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := sizes(t, "a"), sizes(t, "b")
+		assert.Equal(t, a.Plus(b).Minus(b), a)
+		assert.Equal(t, a.Plus(b), b.Plus(a))
+		assert.Equal(t, a.Fits(b), a.Minus(b).Fits(Size{}))
+	})
+	for _, one := range []Size{{MilliCores: 1}, {MemoryMiB: 1}, {Accelerators: 1}} {
+		assert.Equal(t, (Size{}).Plus(one), one)
+		assert.Assert(t, !one.Fits(Size{}))
+		assert.Assert(t, one.Fits(one))
+	}
+}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -23,6 +23,29 @@
 	Accelerators int
 }
 
+// Plus adds each resource of o.
+func (s Size) Plus(o Size) Size {
+	return Size{
+		MilliCores:   s.MilliCores + o.MilliCores,
+		MemoryMiB:    s.MemoryMiB + o.MemoryMiB,
+		Accelerators: s.Accelerators + o.Accelerators,
+	}
+}
+
+// Minus takes each resource of o off; the result may be negative.
+func (s Size) Minus(o Size) Size {
+	return Size{
+		MilliCores:   s.MilliCores - o.MilliCores,
+		MemoryMiB:    s.MemoryMiB - o.MemoryMiB,
+		Accelerators: s.Accelerators - o.Accelerators,
+	}
+}
+
+// Fits reports whether room has enough of every resource.
+func (s Size) Fits(room Size) bool {
+	return s.MilliCores <= room.MilliCores && s.MemoryMiB <= room.MemoryMiB && s.Accelerators <= room.Accelerators
+}
+
 // Life tells the lives of a worker with one name apart: the Unix millisecond
 // of its start. A later life knows nothing of an earlier one.
 type Life int64
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -236,9 +236,7 @@
 func shortQuota(all []model.Contract, have model.Quota) []Shortfall {
 	var need model.Quota
 	for _, c := range all {
-		need.MilliCores += c.Quota.MilliCores
-		need.MemoryMiB += c.Quota.MemoryMiB
-		need.Accelerators += c.Quota.Accelerators
+		need = need.Plus(c.Quota)
 	}
 	var out []Shortfall
 	add := func(name Name, n, h int) {
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -1,6 +1,9 @@
 package model
 
-import "camphorridge/core/state/clock"
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
 
 // Names of the objects of the domain.
 type (
@@ -93,11 +96,7 @@
 }
 
 // Quota bounds the resources that a customer's tasks hold at once.
-type Quota struct {
-	MilliCores   int
-	MemoryMiB    int
-	Accelerators int
-}
+type Quota = jobs.Size
 
 // Phase is the state of an instance's membership in a pool.
 type Phase int
--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -193,7 +193,7 @@
 		return fail(KindTeam, "team %s has no contract", t.Team)
 	}
 	need := b.raw(t)
-	if !fits(need, tm.contract.Quota) {
+	if !need.Fits(tm.contract.Quota) {
 		return fail(KindQuota, "needs %v; the whole quota of %s is %v", need, t.Team, tm.contract.Quota)
 	}
 	if !b.anyFits(need) {
@@ -221,7 +221,7 @@
 
 func (b *Board[F, S, J]) anyFits(need Size) bool {
 	for _, w := range b.workers {
-		if !w.Gone && fits(need, w.Size) {
+		if !w.Gone && need.Fits(w.Size) {
 			return true
 		}
 	}
@@ -274,17 +274,17 @@
 	}
 	// A team's growth ends at its quota; the platform confines the task.
 	tm := b.teams[t.Team]
-	left := plus(plus(tm.contract.Quota, tm.used, -1), t.reserve, 1)
+	left := tm.contract.Quota.Minus(tm.used).Plus(t.reserve)
 	b.resize(t, larger(Size{}, smaller(larger(used, b.estimate(t.Task)), left)))
 }
 
 // resize changes what a task on a worker has reserved.
 func (b *Board[F, S, J]) resize(t *task, to Size) {
 	w, tm := t.worker, b.teams[t.Team]
-	w.used, tm.used = plus(w.used, t.reserve, -1), plus(tm.used, t.reserve, -1)
-	shrinks := fits(to, t.reserve) && to != t.reserve
+	w.used, tm.used = w.used.Minus(t.reserve), tm.used.Minus(t.reserve)
+	shrinks := to.Fits(t.reserve) && to != t.reserve
 	t.reserve = to
-	w.used, tm.used = plus(w.used, t.reserve, 1), plus(tm.used, t.reserve, 1)
+	w.used, tm.used = w.used.Plus(t.reserve), tm.used.Plus(t.reserve)
 	b.reindex(w)
 	if shrinks {
 		b.unblock()
@@ -303,7 +303,7 @@
 	throttled := false
 	for _, t := range w.tasks {
 		if t.phase == PhaseRunning && !t.Urgent {
-			w.soft = plus(w.soft, t.reserve, 1)
+			w.soft = w.soft.Plus(t.reserve)
 		}
 		throttled = throttled || t.percent < 100
 	}
@@ -314,7 +314,7 @@
 			delete(m, w.ID)
 		}
 	}
-	set(b.full, !fits(w.used, w.Size))
+	set(b.full, !w.used.Fits(w.Size))
 	set(b.slack, throttled)
 	b.index(w)
 }
@@ -325,9 +325,9 @@
 		b.soft.remove(w.ID)
 		return
 	}
-	left := plus(w.Size, w.used, -1)
+	left := w.Size.Minus(w.used)
 	b.free.set(w.ID, left)
-	b.soft.set(w.ID, plus(left, w.soft, 1))
+	b.soft.set(w.ID, left.Plus(w.soft))
 }
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -53,7 +53,7 @@
 func (b *Board[F, S, J]) leave(t *task) {
 	w, tm := t.worker, b.teams[t.Team]
 	delete(w.tasks, t.ID)
-	w.used, tm.used = plus(w.used, t.reserve, -1), plus(tm.used, t.reserve, -1)
+	w.used, tm.used = w.used.Minus(t.reserve), tm.used.Minus(t.reserve)
 	t.worker, t.reserve, t.percent, t.asked = nil, Size{}, 100, Action{}
 	b.reindex(w)
 	b.unblock()
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -59,7 +59,7 @@
 func (b *Board[F, S, J]) passHold(w *worker, now clock.Millis) {
 	t := w.hold
 	switch {
-	case !w.Gone && b.usable(w, now) && fits(b.estimate(t.Task), plus(w.Size, w.used, -1)):
+	case !w.Gone && b.usable(w, now) && b.estimate(t.Task).Fits(w.Size.Minus(w.used)):
 		b.unhold(w)
 		b.start(t, w, now)
 	case w.Gone || !slices.ContainsFunc(sortedKeys(w.tasks), func(id TaskID) bool { return w.tasks[id].phase == PhaseEnding }):
@@ -219,12 +219,12 @@
 
 func (b *Board[F, S, J]) try(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
 	need := b.estimate(t.Task)
-	if !fits(plus(tm.used, need, 1), tm.contract.Quota) {
+	if !tm.used.Plus(need).Fits(tm.contract.Quota) {
 		tm.limit = LimitQuota
 		return false
 	}
 	tm.limit = LimitRoom
-	if !slices.ContainsFunc(*failed, func(s Size) bool { return fits(s, need) }) {
+	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
 		if w := b.choose(t, need, now); w != nil {
 			b.start(t, w, now)
 			return true
@@ -243,7 +243,7 @@
 func (b *Board[F, S, J]) choose(t *task, need Size, now clock.Millis) *worker {
 	ok := func(id WorkerID) *worker {
 		w := b.workers[id]
-		if w.hold == nil && fits(need, plus(w.Size, w.used, -1)) && b.usable(w, now) && !slices.Contains(t.failedOn, id) {
+		if w.hold == nil && need.Fits(w.Size.Minus(w.used)) && b.usable(w, now) && !slices.Contains(t.failedOn, id) {
 			return w
 		}
 		return nil
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -27,10 +27,10 @@
 	least := clock.Millis(0)
 	for _, id := range b.softest(bucketOf(need.MilliCores)) {
 		w := b.workers[id]
-		if !b.usable(w, now) || slices.Contains(t.failedOn, id) || !fits(need, plus(plus(w.Size, w.used, -1), w.soft, 1)) {
+		if !b.usable(w, now) || slices.Contains(t.failedOn, id) || !need.Fits(w.Size.Minus(w.used).Plus(w.soft)) {
 			continue
 		}
-		lack := plus(need, plus(w.Size, w.used, -1), -1)
+		lack := need.Minus(w.Size.Minus(w.used))
 		list, ok := b.ladder(w, lack, now, func(v *task) bool { return !v.Urgent })
 		cost := clock.Millis(0)
 		for _, v := range list {
@@ -48,7 +48,7 @@
 	b.holds[best.ID] = true
 	b.disrupt(victims, now, "room for urgent task "+string(t.ID))
 	b.index(best)
-	if fits(need, plus(best.Size, best.used, -1)) {
+	if need.Fits(best.Size.Minus(best.used)) {
 		// Throttling frees its room at once.
 		b.unhold(best)
 		b.start(t, best, now)
@@ -70,13 +70,13 @@
 // relieveFull makes tasks give way on a worker whose tasks use more than it
 // has, as far as budgets allow. Tasks that are ending already count as gone.
 func (b *Board[F, S, J]) relieveFull(w *worker, now clock.Millis) {
-	lack := plus(w.used, w.Size, -1)
+	lack := w.used.Minus(w.Size)
 	for _, t := range w.tasks {
 		if t.phase == PhaseEnding {
-			lack = plus(lack, t.reserve, -1)
+			lack = lack.Minus(t.reserve)
 		}
 	}
-	if fits(lack, Size{}) {
+	if lack.Fits(Size{}) {
 		return
 	}
 	victims, _ := b.ladder(w, lack, now, func(*task) bool { return true })
@@ -94,7 +94,7 @@
 	taken := map[*task]bool{}
 	for _, kind := range []ActionKind{ActionCheckpoint, ActionThrottle, ActionStop} {
 		for _, t := range b.orderOf(w, kind, now) {
-			if fits(lack, Size{}) {
+			if lack.Fits(Size{}) {
 				return out, true
 			}
 			gain, cost := b.gives(t, kind, now)
@@ -105,11 +105,11 @@
 			taken[t] = true
 			extra[t.Team]++
 			pending[t.Team] += cost
-			lack = plus(lack, gain, -1)
+			lack = lack.Minus(gain)
 			out = append(out, victim{t: t, kind: kind, cost: cost})
 		}
 	}
-	return out, fits(lack, Size{})
+	return out, lack.Fits(Size{})
 }
 
 // helps reports whether the gain covers a part of what is lacking.
@@ -171,7 +171,7 @@
 		}
 		gain, _ := b.gives(v.t, v.kind, now)
 		v.t.percent = throttledPercent
-		b.resize(v.t, plus(v.t.reserve, gain, -1))
+		b.resize(v.t, v.t.reserve.Minus(gain))
 		b.throttle(v.t, reason)
 	}
 }
@@ -193,7 +193,7 @@
 		for _, tid := range sortedKeys(w.tasks) {
 			t := w.tasks[tid]
 			whole := b.estimate(t.Task)
-			if t.percent == 100 || t.phase != PhaseRunning || !fits(plus(whole, t.reserve, -1), plus(w.Size, w.used, -1)) {
+			if t.percent == 100 || t.phase != PhaseRunning || !whole.Minus(t.reserve).Fits(w.Size.Minus(w.used)) {
 				continue
 			}
 			t.percent = 100
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -188,18 +188,6 @@
 	OutcomeStopped
 )
 
-func fits(need, room Size) bool {
-	return need.MilliCores <= room.MilliCores && need.MemoryMiB <= room.MemoryMiB && need.Accelerators <= room.Accelerators
-}
-
-func plus(a, b Size, sign int) Size {
-	return Size{
-		MilliCores:   a.MilliCores + sign*b.MilliCores,
-		MemoryMiB:    a.MemoryMiB + sign*b.MemoryMiB,
-		Accelerators: a.Accelerators + sign*b.Accelerators,
-	}
-}
-
 func larger(a, b Size) Size {
 	return Size{
 		MilliCores:   max(a.MilliCores, b.MilliCores),
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -186,7 +186,7 @@
 
 func (b *Board[O, J]) dropStrays(w *worker) {
 	for _, s := range w.strays {
-		w.used = plus(w.used, s.need, -1)
+		w.used = w.used.Minus(s.need)
 	}
 	w.strays = nil
 }
@@ -202,7 +202,7 @@
 		w.strays = map[jobs.Task]stray{}
 	}
 	w.strays[x.Task] = s
-	w.used = plus(w.used, s.need, 1)
+	w.used = w.used.Plus(s.need)
 }
 
 // answerRuns repeats the orders that the heartbeat shows not to have arrived.
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -212,12 +212,12 @@
 
 func (b *Board[O, J]) attach(w *worker, r *run) {
 	w.runs[r.task] = r
-	w.used = plus(w.used, counted(r.step), 1)
+	w.used = w.used.Plus(counted(r.step))
 }
 
 func (b *Board[O, J]) detach(w *worker, r *run) {
 	delete(w.runs, r.task)
-	w.used = plus(w.used, counted(r.step), -1)
+	w.used = w.used.Minus(counted(r.step))
 }
 
 // counted is what a task takes of a worker's room. A filler takes processor
@@ -230,18 +230,6 @@
 	return n
 }
 
-func plus(a, b jobs.Size, sign int) jobs.Size {
-	return jobs.Size{
-		MilliCores:   a.MilliCores + sign*b.MilliCores,
-		MemoryMiB:    a.MemoryMiB + sign*b.MemoryMiB,
-		Accelerators: a.Accelerators + sign*b.Accelerators,
-	}
-}
-
-func fits(need, room jobs.Size) bool {
-	return need.MilliCores <= room.MilliCores && need.MemoryMiB <= room.MemoryMiB && need.Accelerators <= room.Accelerators
-}
-
 // apply changes the board's copy and adds the operation to the plan.
 func (b *Board[O, J]) apply(o jobs.Op, now clock.Millis) {
 	b.State.Apply([]jobs.Op{o}, max(now, b.State.Time))
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		need := counted(g.step)
-		if slices.ContainsFunc(failed, func(s jobs.Size) bool { return fits(s, need) }) {
+		if slices.ContainsFunc(failed, func(s jobs.Size) bool { return s.Fits(need) }) {
 			continue
 		}
 		for len(g.waiting) > 0 {
@@ -112,7 +112,7 @@
 	failed := b.failedOn[t]
 	var top score
 	for _, w := range p.present {
-		if !fits(need, plus(w.room, w.used, -1)) {
+		if !need.Fits(w.room.Minus(w.used)) {
 			continue
 		}
 		roomy = true
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -293,10 +293,10 @@
 	}
 	used := jobs.Size{}
 	for t := range x.runs {
-		used = plus(used, w.committed.Jobs[t.Job].Steps[t.Step].Need, 1)
+		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Need)
 	}
 	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Need
-	if s.Run <= x.closed[s.Task] || !fits(need, plus(x.room, used, -1)) {
+	if s.Run <= x.closed[s.Task] || !need.Fits(x.room.Minus(used)) {
 		x.end(s.Task, &simRun{run: s.Run}, jobs.HowRefused)
 		return
 	}
