Start the tasks of gangs all at once

Cause: jobs with gang steps were refused with 501.

Change: a gang starts in one pass and one commit once all its tasks wait and present workers have room for all; it is stopped whole when a task ends before its work is done, starts again with one run number and one checkpoint, and the good end of one task stands for all. Failed runs of a gang count once.

Also: waiting work of a queue that moves to another pool is placed there at once (the pool was not marked for a pass), and a task returns to the worker that it failed on when no other takes it for a second.

--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -135,8 +135,8 @@
 
 func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
 	j := c.Job
-	if why := unsupported(&j, q); why != "" {
-		return Answer{Kind: AnswerUnsupported, Reason: why}
+	if q.Advised {
+		return Answer{Kind: AnswerUnsupported, Reason: "the queue's workers are named by advice, which is not asked for yet"}
 	}
 	j.ID, j.Queue, j.Pool = id, q.Name, q.Pool
 	j.Priority, j.Attempts, j.Target, j.StretchPermille = q.Priority, q.Attempts, q.Target, q.StretchPermille
@@ -144,19 +144,6 @@
 	return Answer{Status: r.board.State.Jobs[id].Status}
 }
 
-// unsupported names what a job needs that the system does not do.
-func unsupported(j *jobs.Job, q *jobs.Queue) string {
-	if q.Advised {
-		return "the queue's workers are named by advice, which is not asked for yet"
-	}
-	for _, s := range j.Steps {
-		if s.Gang {
-			return "steps whose tasks start all at once are not supported yet"
-		}
-	}
-	return ""
-}
-
 // resolve finds the queue with the longest prefix of a path, and the rest of
 // the path.
 func resolve(c *jobs.Config, host, path string) (best *jobs.Queue, id jobs.ID, ok bool) {
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "camphorridge/core/state/clock"
+import (
+	"iter"
+
+	"camphorridge/core/state/clock"
+)
 
 // Retention is how long an ended job is remembered. Submitters ask for two
 // minutes; a snapshot of what is remembered holds the group up while it is made.
@@ -165,6 +169,42 @@
 	return &o.Steps[t.Step].Tasks[t.Index]
 }
 
+// All yields the tasks of the job in order.
+func (r *Record) All() iter.Seq2[Task, *TaskState] {
+	return func(yield func(Task, *TaskState) bool) {
+		for k := range r.Occurrences {
+			for i := range r.Occurrences[k].Steps {
+				tasks := r.Occurrences[k].Steps[i].Tasks
+				for n := range tasks {
+					if !yield(Task{Job: r.ID, Occurrence: k, Step: i, Index: n}, &tasks[n]) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// stepOf returns the state of a task's step.
+func (r *Record) stepOf(t Task) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
+
+// fails counts the failed runs of a gang.
+func (st *StepState) fails() int {
+	n := 0
+	for i := range st.Tasks {
+		n = max(n, st.Tasks[i].Fails)
+	}
+	return n
+}
+
+// save sets the checkpoint of all tasks of a gang: that of any of them holds for
+// all, and all have to start from the same one.
+func (st *StepState) save(saved string) {
+	for i := range st.Tasks {
+		st.Tasks[i].Saved = saved
+	}
+}
+
 func (s *State) assign(o *Op) {
 	r := s.Jobs[o.Task.Job]
 	if r == nil || r.Status.Final() {
@@ -174,6 +214,9 @@
 	if t == nil || t.Phase != PhaseWaiting || o.Run <= t.Run {
 		return
 	}
+	if r.Steps[o.Task.Step].Gang {
+		t.Fails = r.stepOf(o.Task).fails()
+	}
 	t.Phase, t.Run, t.Worker, t.Life = PhaseAssigned, o.Run, o.Worker, o.Life
 	r.Started = true
 	if r.Status == StatusQueued {
@@ -191,13 +234,16 @@
 		return
 	}
 	t.Phase, t.Worker, t.Life = PhaseWaiting, "", 0
+	step := &r.Steps[o.Task.Step]
 	if o.Saved != "" {
 		t.Saved = o.Saved
+		if step.Gang {
+			r.stepOf(o.Task).save(o.Saved)
+		}
 	}
-	step := &r.Steps[o.Task.Step]
 	switch {
 	case o.How == HowDone && !step.Lasting:
-		s.done(r, o.Task, t)
+		s.done(r, o.Task)
 	case o.How == HowFailed && !step.Lasting:
 		t.Fails++
 		if t.Fails >= max(r.Attempts, 1) && !r.Status.Final() {
@@ -207,12 +253,20 @@
 }
 
 // done notes a task's good end, and those of its step, occurrence and job with
-// it.
-func (s *State) done(r *Record, id Task, t *TaskState) {
-	t.Phase = PhaseDone
+// it. The good end of one task of a gang stands for all of them.
+func (s *State) done(r *Record, id Task) {
 	o := &r.Occurrences[id.Occurrence]
 	st := &o.Steps[id.Step]
-	st.Done++
+	if r.Steps[id.Step].Gang {
+		for n := range st.Tasks {
+			t := &st.Tasks[n]
+			t.Phase, t.Worker, t.Life = PhaseDone, "", 0
+		}
+		st.Done = len(st.Tasks)
+	} else {
+		st.Tasks[id.Index].Phase = PhaseDone
+		st.Done++
+	}
 	if st.Done < len(st.Tasks) {
 		return
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -109,7 +109,8 @@
 	After []int
 	// Saves is set when tasks make checkpoints.
 	Saves bool
-	// Gang tasks work only all together.
+	// Gang tasks work only all together: they start at once with one run number,
+	// end well together, and go on from one checkpoint.
 	Gang     bool
 	SameRack bool
 	// Label must be among a worker's labels when it is not empty.
@@ -176,7 +177,8 @@
 	// Run is the number of the latest start; it only grows, also over changes
 	// of leader, so that two starts never share a number.
 	Run int
-	// Fails counts the runs that failed.
+	// Fails counts the runs that failed; for a task of a gang those of the gang
+	// in which this task or, before its latest start, any of them failed.
 	Fails int
 	// Worker and Life are set in PhaseAssigned.
 	Worker WorkerID
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -117,6 +117,7 @@
 	b.detach(w, r)
 	rec := r.rec
 	before := rec.Status
+	current := r.current()
 	b.apply(jobs.Op{Kind: jobs.OpEnd, Task: r.task, Run: r.number, Worker: w.id, How: how, Saved: saved}, now)
 	if how != jobs.HowDone {
 		reason := how.String()
@@ -138,10 +139,12 @@
 			b.noteEnd(rec, now)
 			b.stopJob(rec)
 		}
+	case !current:
 	case how == jobs.HowDone && !r.step.Lasting:
 		b.follow(rec, r.task, now)
 	default:
 		b.queue(rec, r.task, now)
+		b.breakGang(rec, r.task)
 	}
 }
 
@@ -215,9 +218,9 @@
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		switch {
-		case r.listed && (r.stopping || r.rec.Status.Final()):
+		case r.listed && (r.stopping || !r.current()):
 			w.beat.stops = append(w.beat.stops, Stop{Task: id, Run: r.number})
-		case !r.listed && (r.stopping || r.rec.Status.Final() || w.draining):
+		case !r.listed && (r.stopping || !r.current() || w.draining):
 			b.end(w, r, jobs.HowLost, "", now)
 		case !r.listed:
 			w.beat.starts = append(w.beat.starts, b.startOf(r))
@@ -227,6 +230,13 @@
 	}
 }
 
+// current reports whether the job still needs the run: it is not over, and no
+// good end of another task of a gang stands for this one.
+func (r *run) current() bool {
+	t := r.rec.Task(r.task)
+	return !r.rec.Status.Final() && t.Phase == jobs.PhaseAssigned && t.Run == r.number
+}
+
 // leave stops a lasting task on a worker that drains, so that it works
 // elsewhere before the worker ends.
 func (b *Board[O, J]) leave(w *worker, r *run, now clock.Millis) {
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -179,28 +179,22 @@
 
 // adopt enters a job that was accepted before this term.
 func (b *Board[O, J]) adopt(r *jobs.Record, now clock.Millis) {
-	for k := range r.Occurrences {
-		for i := range r.Occurrences[k].Steps {
-			st := &r.Occurrences[k].Steps[i]
-			for n := range st.Tasks {
-				t := &st.Tasks[n]
-				if t.Phase != jobs.PhaseAssigned {
-					continue
-				}
-				w := b.workers[t.Worker]
-				if w == nil || w.life < t.Life {
-					w = &worker{
-						id: t.Worker, life: t.Life, pool: r.Pool, runs: map[jobs.Task]*run{},
-						until: now + b.longest(),
-					}
-					b.workers[t.Worker] = w
-					b.leases.Push(dueLease{at: w.until, w: w})
-				}
-				id := jobs.Task{Job: r.ID, Occurrence: k, Step: i, Index: n}
-				b.attach(w, &run{task: id, number: t.Run, rec: r, step: &r.Steps[i], started: now, moved: now})
+	for id, t := range r.All() {
+		if t.Phase != jobs.PhaseAssigned {
+			continue
+		}
+		w := b.workers[t.Worker]
+		if w == nil || w.life < t.Life {
+			w = &worker{
+				id: t.Worker, life: t.Life, pool: r.Pool, runs: map[jobs.Task]*run{},
+				until: now + b.longest(),
 			}
+			b.workers[t.Worker] = w
+			b.leases.Push(dueLease{at: w.until, w: w})
 		}
+		b.attach(w, &run{task: id, number: t.Run, rec: r, step: &r.Steps[id.Step], started: now, moved: now})
 	}
+	b.adoptGangs(r)
 	b.enter(r, now)
 }
 
@@ -292,13 +286,9 @@
 		reason += fmt.Sprintf(", %d ms late", late)
 	}
 	runs, fails := 0, 0
-	for k := range r.Occurrences {
-		for i := range r.Occurrences[k].Steps {
-			for _, t := range r.Occurrences[k].Steps[i].Tasks {
-				runs += t.Run
-				fails += t.Fails
-			}
-		}
+	for _, t := range r.All() {
+		runs += t.Run
+		fails += t.Fails
 	}
 	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, fails)
 	b.noteJob("job-"+r.Status.String(), r, reason, late > 0 || r.Status == jobs.StatusFailed)
@@ -320,22 +310,22 @@
 
 // stopJob orders the end of what runs of a job that is over.
 func (b *Board[O, J]) stopJob(r *jobs.Record) {
-	for k := range r.Occurrences {
-		for i := range r.Occurrences[k].Steps {
-			for n, t := range r.Occurrences[k].Steps[i].Tasks {
-				if t.Phase != jobs.PhaseAssigned {
-					continue
-				}
-				if w := b.workers[t.Worker]; w != nil {
-					if x := w.runs[jobs.Task{Job: r.ID, Occurrence: k, Step: i, Index: n}]; x != nil {
-						b.stop(w, x, r.Status.String())
-					}
-				}
-			}
+	for id, t := range r.All() {
+		if w, x := b.assigned(id, t); x != nil {
+			b.stop(w, x, r.Status.String())
 		}
 	}
 }
 
+// assigned returns the run of an assigned task and its worker; nil for others.
+func (b *Board[O, J]) assigned(id jobs.Task, t *jobs.TaskState) (*worker, *run) {
+	w := b.workers[t.Worker]
+	if t.Phase != jobs.PhaseAssigned || w == nil {
+		return nil, nil
+	}
+	return w, w.runs[id]
+}
+
 // Configure puts a configuration in force when it is newer.
 func (b *Board[O, J]) Configure(c jobs.Config, now clock.Millis) {
 	if c.Version <= b.State.Config.Version {
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -212,6 +212,7 @@
 			q := b.pool(to)
 			q.groups, q.sorted = append(q.groups, g), false
 			q.index[g.key] = g
+			b.dirty[q] = true
 		}
 		p.groups = kept
 	}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -75,6 +75,12 @@
 			continue
 		}
 		need := counted(g.step)
+		if g.step.Gang {
+			if !b.startGang(p, g, now) && b.keepRoom(p, g, now) {
+				return
+			}
+			continue
+		}
 		if slices.ContainsFunc(failed, func(s jobs.Size) bool { return s.Fits(need) }) {
 			continue
 		}
@@ -105,6 +111,10 @@
 	b.note("run-started", r, w, "")
 }
 
+// elsewhereMillis is how long a task that failed waits for a worker other than
+// the one that it failed on; there may be none.
+const elsewhereMillis = clock.Second
+
 // choose picks the worker for a task of a group. roomy tells that a worker had
 // room and was passed over for another reason.
 func (b *Board[O, J]) choose(p *pool, g *group, t jobs.Task, now clock.Millis) (best *worker, roomy bool) {
@@ -116,7 +126,7 @@
 			continue
 		}
 		roomy = true
-		if w.id == failed || !b.may(w, g, now) {
+		if (w.id == failed && now-g.since < elsewhereMillis) || !b.may(w, g, now) {
 			continue
 		}
 		if s := b.score(w, g); best == nil || s.better(top) {
@@ -126,15 +136,18 @@
 	return best, roomy
 }
 
-// may reports whether a worker may run a task of the group, room aside.
+// may reports whether a present worker may run one more task of the group, room
+// aside.
 func (b *Board[O, J]) may(w *worker, g *group, now clock.Millis) bool {
-	if w.draining || w.held || w.leaving || w.parting || w.aside > now || w.beat == nil {
-		return false
-	}
-	if g.step.Label != "" && !slices.Contains(w.labels, g.step.Label) {
+	return w.beat != nil && b.takes(w, g, now) && (g.step.PerWorker == 0 || w.count(g.key) < g.step.PerWorker)
+}
+
+// takes reports whether a worker takes tasks like those of the group.
+func (b *Board[O, J]) takes(w *worker, g *group, now clock.Millis) bool {
+	if w.draining || w.held || w.leaving || w.parting || w.aside > now {
 		return false
 	}
-	return g.step.PerWorker == 0 || w.count(g.key) < g.step.PerWorker
+	return g.step.Label == "" || slices.Contains(w.labels, g.step.Label)
 }
 
 // count is the number of the group's tasks on the worker.
