Ask the advice service for the workers of advised queues

Cause: jobs of queues with advice were refused with 501.

Change: the rule of a queue (how long a ticket holds, what an answer takes) is part of the configuration. The board asks for workers for the step that ranks first, one question at a time, starts tasks with a ticket that still holds, and asks again for workers with a new life, a ticket that ran out, or a start that was refused. The adapter calls the service and writes the ticket as the fifth entry of a start. The answer kind for jobs that are not supported is gone, as there are none.

Result: TestAdvisedPath plays such jobs through real processes against a stand-in of the service.

--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -135,9 +135,6 @@
 
 func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
 	j := c.Job
-	if q.Advised {
-		return Answer{Kind: AnswerUnsupported, Reason: "the queue's workers are named by advice, which is not asked for yet"}
-	}
 	j.ID, j.Queue, j.Pool = id, q.Name, q.Pool
 	j.Priority, j.Attempts, j.Target, j.StretchPermille = q.Priority, q.Attempts, q.Target, q.StretchPermille
 	r.board.Submit(j, now)
@@ -178,7 +175,7 @@
 }
 
 func (r *Runner[G, M, O, J]) act(a action) sched.Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), actionTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.Takes).Duration())
 	defer cancel()
 	if term, ok := r.group.Leads(); !ok || term != a.term || r.clock.Now()-a.at > actionAge {
 		return sched.Outcome{Answer: sched.AnswerLater}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -106,8 +106,6 @@
 	AnswerNoQueue
 	AnswerNoJob
 	AnswerNoWave
-	// AnswerUnsupported: the job needs what the system does not do.
-	AnswerUnsupported
 	// AnswerInvalid: the call names nothing that can be done.
 	AnswerInvalid
 	// AnswerUnavailable: nothing was done and nothing will be; Retry says when
@@ -118,7 +116,7 @@
 )
 
 var answerNames = [...]string{
-	"done", "no-queue", "no-job", "no-wave", "unsupported", "invalid", "unavailable", "unknown",
+	"done", "no-queue", "no-job", "no-wave", "invalid", "unavailable", "unknown",
 }
 
 // String returns the name used in logs and metrics.
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -75,8 +75,20 @@
 	// the stretched length of its longest chain of steps.
 	Target          clock.Millis
 	StretchPermille int
-	// Advised queues run on workers that the platform's advice names only.
-	Advised bool
+	// Advice is the zero value for a queue whose tasks may run on any worker of
+	// the pool.
+	Advice Advice
+}
+
+// Advice is the rule of a queue that runs each step only on the workers that
+// the advice service names for it.
+type Advice struct {
+	// Valid is how long a ticket holds; above 0 for a queue with advice.
+	Valid clock.Millis
+	// Decide is how long an answer takes, and Each how much longer for each
+	// worker named.
+	Decide clock.Millis
+	Each   clock.Millis
 }
 
 // Pool is a set of workers of the configuration.
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -129,6 +129,9 @@
 	if how == jobs.HowDone || how == jobs.HowFailed {
 		b.judgeWorker(w, r, how == jobs.HowFailed, now)
 	}
+	if how == jobs.HowRefused {
+		b.refusedTicket(w, r)
+	}
 	delete(b.failedOn, r.task)
 	if how == jobs.HowFailed && !rec.Status.Final() {
 		b.failedOn[r.task] = w.id
@@ -223,7 +226,7 @@
 		case !r.listed && (r.stopping || !r.current() || w.draining):
 			b.end(w, r, jobs.HowLost, "", now)
 		case !r.listed:
-			w.beat.starts = append(w.beat.starts, b.startOf(r))
+			w.beat.starts = append(w.beat.starts, b.startOf(w, r))
 		case w.draining:
 			b.leave(w, r, now)
 		}
@@ -245,8 +248,9 @@
 	}
 }
 
-func (b *Board[O, J]) startOf(r *run) Start {
-	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Saved: r.rec.Task(r.task).Saved}
+func (b *Board[O, J]) startOf(w *worker, r *run) Start {
+	ticket, _ := b.ticket(w, groupKey{r.task.Job, r.task.Occurrence, r.task.Step}, b.now)
+	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Saved: r.rec.Task(r.task).Saved, Ticket: ticket}
 }
 
 // stop orders the end of a run with the next answer to its worker.
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -32,6 +32,9 @@
 	queues map[jobs.QueueName]jobs.PoolName
 	// placed lists the version of the configuration that queues was made of.
 	placed uint64
+	// advices holds the rules of the queues in force that have advice.
+	advices map[jobs.QueueName]jobs.Advice
+	advice  advice
 	// now is the latest time that a call has told.
 	now clock.Millis
 	// began is the time at which the leader's term began here.
@@ -166,6 +169,7 @@
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
 		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
+		advice: newAdvice(),
 	}
 	b.readConfig()
 	for _, r := range s.Jobs {
@@ -245,8 +249,12 @@
 	}
 	b.placed = c.Version
 	b.queues = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
+	b.advices = map[jobs.QueueName]jobs.Advice{}
 	for _, q := range c.Queues {
 		b.queues[q.Name] = q.Pool
+		if q.Advice.Valid > 0 {
+			b.advices[q.Name] = q.Advice
+		}
 	}
 }
 
@@ -281,6 +289,7 @@
 // one what kept it.
 func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
 	late := now - Objective(r, len(r.Occurrences)-1)
+	b.forgetAdvice(r)
 	reason := fmt.Sprintf("after %d ms", now-r.Accepted)
 	if late > 0 && r.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", late)
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -76,7 +76,11 @@
 		}
 		need := counted(g.step)
 		if g.step.Gang {
-			if !b.startGang(p, g, now) && b.keepRoom(p, g, now) {
+			if b.startGang(p, g, now) {
+				continue
+			}
+			b.ask(p, g, now)
+			if b.keepRoom(p, g, now) {
 				return
 			}
 			continue
@@ -92,6 +96,7 @@
 				if !roomy {
 					failed = append(failed, need)
 				}
+				b.ask(p, g, now)
 				break
 			}
 			g.waiting = g.waiting[:n]
@@ -106,7 +111,7 @@
 	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, started: now, moved: now, saved: state.Saved}
 	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Life: w.life}, now)
 	b.attach(w, r)
-	w.beat.starts = append(w.beat.starts, b.startOf(r))
+	w.beat.starts = append(w.beat.starts, b.startOf(w, r))
 	b.answerBy(w, now)
 	b.note("run-started", r, w, "")
 }
@@ -139,7 +144,7 @@
 // may reports whether a present worker may run one more task of the group, room
 // aside.
 func (b *Board[O, J]) may(w *worker, g *group, now clock.Millis) bool {
-	return w.beat != nil && b.takes(w, g, now) && (g.step.PerWorker == 0 || w.count(g.key) < g.step.PerWorker)
+	return w.beat != nil && b.takes(w, g, now) && b.allowed(w, g, now) && (g.step.PerWorker == 0 || w.count(g.key) < g.step.PerWorker)
 }
 
 // takes reports whether a worker takes tasks like those of the group.
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -107,6 +107,9 @@
 	Run   int
 	Spec  string
 	Saved string
+	// Ticket is the leave of the advice service; empty for a queue without
+	// advice.
+	Ticket string
 }
 
 // Stop tells a worker to end a run.
@@ -148,6 +151,8 @@
 	ActionMove
 	// ActionList asks for the machines of all pools.
 	ActionList
+	// ActionAdvise asks which of Workers may run a step.
+	ActionAdvise
 )
 
 // Action is what the platform is to do.
@@ -156,6 +161,11 @@
 	Machine jobs.MachineID
 	Wave    int
 	Pool    jobs.PoolName
+	// Step is the first task of the step that Workers are named for, and Takes
+	// how long the answer is expected to take.
+	Step    jobs.Task
+	Workers []jobs.WorkerID
+	Takes   clock.Millis
 }
 
 // Machine is a machine as the platform lists it.
@@ -172,6 +182,8 @@
 	Answer Answer
 	// Machines answers ActionList.
 	Machines []Machine
+	// Tickets answers ActionAdvise.
+	Tickets []Ticket
 }
 
 // Plan is the outcome of a pass.
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -345,6 +345,8 @@
 		b.moved(a, o.Answer, now)
 	case ActionList:
 		b.machinesListed(o, now)
+	case ActionAdvise:
+		b.answered(a, o, now)
 	}
 }
 
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -14,7 +14,7 @@
 	for _, q := range c.Queues {
 		w.Queues = append(w.Queues, &wirepb.JobQueue{
 			Name: text(q.Name), Host: text(q.Host), Prefix: text(q.Prefix), Pool: text(q.Pool), Priority: int64(q.Priority),
-			Attempts: int64(q.Attempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advised: q.Advised,
+			Attempts: int64(q.Attempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advice: adviceToWire(q.Advice),
 		})
 	}
 	for _, p := range c.Pools {
@@ -23,13 +23,27 @@
 	return w
 }
 
+// adviceToWire leaves the rule of a queue without advice out.
+func adviceToWire(a jobs.Advice) *wirepb.JobAdvice {
+	if a == (jobs.Advice{}) {
+		return nil
+	}
+	return &wirepb.JobAdvice{ValidMs: int64(a.Valid), DecideMs: int64(a.Decide), EachMs: int64(a.Each)}
+}
+
+func adviceFromWire(w *wirepb.JobAdvice) jobs.Advice {
+	return jobs.Advice{
+		Valid: clock.Millis(w.GetValidMs()), Decide: clock.Millis(w.GetDecideMs()), Each: clock.Millis(w.GetEachMs()),
+	}
+}
+
 func jobConfigFromWire(w *wirepb.JobConfig) jobs.Config {
 	c := jobs.Config{Version: w.GetVersion(), Document: w.GetDocument()}
 	for _, q := range w.GetQueues() {
 		c.Queues = append(c.Queues, jobs.Queue{
 			Name: jobs.QueueName(q.GetName()), Host: q.GetHost(), Prefix: q.GetPrefix(), Pool: jobs.PoolName(q.GetPool()),
 			Priority: int(q.GetPriority()), Attempts: int(q.GetAttempts()), Target: clock.Millis(q.GetTargetMs()),
-			StretchPermille: int(q.GetStretchPermille()), Advised: q.GetAdvised(),
+			StretchPermille: int(q.GetStretchPermille()), Advice: adviceFromWire(q.GetAdvice()),
 		})
 	}
 	for _, p := range w.GetPools() {
