Slow filling tasks down beside serving tasks that answer too slowly

Cause: orders of pace existed in the protocol and in the board's types, and nothing ever gave one: a serving task could stay above its target for as long as tasks filled beside it.

Filling tasks are not stopped for lack of progress any more, as others may leave them no processor time.

--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -29,7 +29,7 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, life: h.Life, runs: map[jobs.Task]*run{}, until: h.Received + b.longest()}
+		w = &worker{id: h.Worker, life: h.Life, runs: map[jobs.Task]*run{}, until: h.Received + b.longest(), pace: pace{percent: fullPace}}
 		b.workers[h.Worker] = w
 		b.leases.Push(dueLease{at: w.until, w: w})
 	}
@@ -45,6 +45,7 @@
 	}
 	b.answerRuns(w, now)
 	b.watch(w, now)
+	b.setPace(w, now)
 	if !w.draining {
 		p := b.pool(w.pool)
 		p.present[w.id] = w
@@ -339,6 +340,9 @@
 		return now
 	}
 	hold := b.set.HoldMillis
+	if worst, fillers := w.tails(); fillers > 0 && worst > fastPermille {
+		hold = min(hold, paceMillis)
+	}
 	if end, ok := w.nextEnd(now); ok {
 		hold = min(hold, end-now-2*b.set.RetryMillis)
 	}
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -116,6 +116,7 @@
 	parting bool
 	// expired is set from the end of the lease until the next heartbeat.
 	expired bool
+	pace    pace
 	// idle is the time since which the worker runs nothing.
 	idle clock.Millis
 	// weight is the evidence against the worker; it is set aside until aside.
@@ -191,7 +192,7 @@
 		if w == nil || w.life < t.Life {
 			w = &worker{
 				id: t.Worker, life: t.Life, pool: r.Pool, runs: map[jobs.Task]*run{},
-				until: now + b.longest(),
+				until: now + b.longest(), pace: unknownPace(),
 			}
 			b.workers[t.Worker] = w
 			b.leases.Push(dueLease{at: w.until, w: w})
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -51,7 +51,8 @@
 // watch stops tasks that make no progress, so that they start elsewhere.
 func (b *Board[O, J]) watch(w *worker, now clock.Millis) {
 	for _, r := range w.runs {
-		if r.step.Lasting || r.stopping || !r.listed || r.percent >= 100 {
+		// A filler may stand still because others leave it no processor time.
+		if r.step.Lasting || r.step.Filler || r.stopping || !r.listed || r.percent >= 100 {
 			continue
 		}
 		if now-r.moved > b.set.StallMillis+r.step.Estimate/4 {
