Trace failed, late and refused jobs from the logs alone

Cause: nothing showed that the lines of the processes suffice to find the cause of a complaint.

Change: the pinger compares with the readiness that it last wrote. The decisions of the board have names in one list; a test checks that the operators' page explains each, and a golden file holds their lines.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -161,7 +161,7 @@
 	step.next = now
 	if o.Answer != AnswerDone {
 		step.next = now + askRetry
-		b.noteJob("advice-missing", rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o.Answer), true)
+		b.noteJob(DecisionNoAdvice, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o.Answer), true)
 		return
 	}
 	for id, life := range lives {
@@ -176,7 +176,7 @@
 	}
 	c := b.advice.counts[rec.Queue]
 	b.advice.counts[rec.Queue] = adviceCount{named: c.named + len(lives), good: c.good + good}
-	b.noteJob("advice-taken", rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
+	b.noteJob(DecisionAdvice, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
 	b.dirty[b.pool(b.poolOf(rec))] = true
 }
 
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -125,7 +125,7 @@
 		if r.why != "" {
 			reason += ": " + r.why
 		}
-		b.note("run-ended", r, w, reason)
+		b.noteRun(DecisionEnded, r, w, reason)
 	}
 	if how == jobs.HowDone || how == jobs.HowFailed {
 		b.judgeWorker(w, r, how == jobs.HowFailed, now)
@@ -260,7 +260,7 @@
 		return
 	}
 	r.stopping, r.why = true, why
-	b.note("run-stopped", r, w, why)
+	b.noteRun(DecisionStopped, r, w, why)
 	if w.beat != nil {
 		b.answerBy(w, b.now)
 		w.beat.stops = append(w.beat.stops, Stop{Task: r.task, Run: r.number})
@@ -324,7 +324,7 @@
 	if w.weight >= b.judge.Limit() && w.streak >= leastStreak && w.aside <= now {
 		w.aside = now + b.set.AsideMillis
 		w.weight = b.judge.Limit() / 2
-		b.note("worker-set-aside", r, w, "it fails what its peers run")
+		b.noteRun(DecisionAside, r, w, "it fails what its peers run")
 	}
 }
 
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -238,10 +238,6 @@
 // Decided is the number of operations since the last plan.
 func (b *Board[O, J]) Decided() int { return len(b.out.Ops) }
 
-func (b *Board[O, J]) note(what string, r *run, w *worker, reason string) {
-	b.out.Notes = append(b.out.Notes, Note{What: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
-}
-
 // readConfig maps queues to pools once a new configuration is in force.
 func (b *Board[O, J]) readConfig() {
 	c := &b.State.Config
@@ -277,15 +273,10 @@
 	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.Task{Job: j.ID}, Job: &j}, now)
 	rec := b.State.Jobs[j.ID]
 	b.enter(rec, now)
-	b.noteJob("job-accepted", rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
+	b.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
 		j.Queue, b.State.Config.Version, len(j.Steps), Objective(rec, 0)-now), false)
 }
 
-// noteJob explains a decision on a whole job.
-func (b *Board[O, J]) noteJob(what string, r *jobs.Record, reason string, failure bool) {
-	b.out.Notes = append(b.out.Notes, Note{What: what, Task: jobs.Task{Job: r.ID}, Reason: reason, Failure: failure})
-}
-
 // noteEnd explains the final status of a job: how long it took, and for a late
 // one what kept it.
 func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
@@ -301,7 +292,7 @@
 		fails += t.Fails
 	}
 	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, fails)
-	b.noteJob("job-"+r.Status.String(), r, reason, late > 0 || r.Status == jobs.StatusFailed)
+	b.noteJob(finalDecision(r.Status), r, reason, late > 0 || r.Status == jobs.StatusFailed)
 }
 
 // Cancel ends a job. It reports false for one that is not known.
--- /dev/null
+++ b/core/state/sched/note.go
@@ -0,0 +1,74 @@
+package sched
+
+import "camphorridge/core/state/jobs"
+
+// Decision names what a note explains; logs carry it.
+type Decision string
+
+// The decisions.
+const (
+	DecisionAccepted   Decision = "job-accepted"
+	DecisionCompleted  Decision = "job-completed"
+	DecisionFailed     Decision = "job-failed"
+	DecisionCancelled  Decision = "job-cancelled"
+	DecisionStarted    Decision = "run-started"
+	DecisionEnded      Decision = "run-ended"
+	DecisionStopped    Decision = "run-stopped"
+	DecisionAside      Decision = "worker-set-aside"
+	DecisionAdvice     Decision = "advice-taken"
+	DecisionNoAdvice   Decision = "advice-missing"
+	DecisionLoad       Decision = "pool-load"
+	DecisionMoved      Decision = "machine-moved"
+	DecisionMaintain   Decision = "maintenance-ordered"
+	DecisionMaintained Decision = "maintenance-answered"
+	DecisionNoMachine  Decision = "maintenance-dropped"
+)
+
+// Decisions lists all decisions, for the page that explains them.
+var Decisions = []Decision{
+	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
+	DecisionAside, DecisionAdvice, DecisionNoAdvice, DecisionLoad, DecisionMoved, DecisionMaintain, DecisionMaintained,
+	DecisionNoMachine,
+}
+
+// finalDecision returns the decision that gave a job its final status; empty for
+// another status.
+func finalDecision(s jobs.Status) Decision {
+	switch s {
+	case jobs.StatusCompleted:
+		return DecisionCompleted
+	case jobs.StatusFailed:
+		return DecisionFailed
+	case jobs.StatusCancelled:
+		return DecisionCancelled
+	}
+	return ""
+}
+
+// Note explains one decision. Task and Run are set for a decision on a run, and
+// Task.Job alone for one on a job.
+type Note struct {
+	What   Decision
+	Task   jobs.Task
+	Run    int
+	Worker jobs.WorkerID
+	Reason string
+	// Failure is set for a decision that a caller may complain about; its line
+	// is kept when others are dropped.
+	Failure bool
+}
+
+// noteRun explains a decision on a run.
+func (b *Board[O, J]) noteRun(what Decision, r *run, w *worker, reason string) {
+	b.out.Notes = append(b.out.Notes, Note{What: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
+}
+
+// noteJob explains a decision on a whole job.
+func (b *Board[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
+	b.out.Notes = append(b.out.Notes, Note{What: what, Task: jobs.Task{Job: r.ID}, Reason: reason, Failure: failure})
+}
+
+// noteFleet explains a decision on machines or pools.
+func (b *Board[O, J]) noteFleet(what Decision, reason string) {
+	b.out.Notes = append(b.out.Notes, Note{What: what, Reason: reason})
+}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -114,7 +114,7 @@
 	b.attach(w, r)
 	w.beat.starts = append(w.beat.starts, b.startOf(w, r))
 	b.answerBy(w, now)
-	b.note("run-started", r, w, "")
+	b.noteRun(DecisionStarted, r, w, "")
 }
 
 // elsewhereMillis is how long a task that failed waits for a worker other than
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -140,9 +140,9 @@
 				serving++
 			}
 		}
-		b.out.Notes = append(b.out.Notes, Note{What: "pool-load", Reason: fmt.Sprintf(
+		b.noteFleet(DecisionLoad, fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
-			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work()/1000)})
+			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work()/1000))
 	}
 }
 
@@ -437,7 +437,7 @@
 	same := w != nil && w.life == v.life
 	switch answer {
 	case AnswerDone:
-		b.out.Notes = append(b.out.Notes, Note{What: "machine-moved", Reason: string(a.Machine) + " to " + string(a.Pool)})
+		b.noteFleet(DecisionMoved, string(a.Machine)+" to "+string(a.Pool))
 		if same {
 			b.remove(w, "its machine is moved", now)
 		}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -197,16 +197,3 @@
 	// Wake is when the next pass is due if nothing happens before.
 	Wake clock.Millis
 }
-
-// Note explains one decision.
-type Note struct {
-	// What names the decision in kebab case.
-	What   string
-	Task   jobs.Task
-	Run    int
-	Worker jobs.WorkerID
-	Reason string
-	// Failure is set for a decision that a caller may complain about; its line
-	// is kept when others are dropped.
-	Failure bool
-}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -308,7 +308,7 @@
 			}
 		}
 	}
-	b.out.Notes = append(b.out.Notes, Note{What: "maintenance-ordered", Reason: reason})
+	b.noteFleet(DecisionMaintain, reason)
 }
 
 // Answer is what the platform said to a maintenance order.
@@ -356,7 +356,7 @@
 		return
 	}
 	delete(v.flying, o.Machine)
-	b.out.Notes = append(b.out.Notes, Note{What: "maintenance-answered", Reason: fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, a)})
+	b.noteFleet(DecisionMaintained, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, a))
 	switch a {
 	case AnswerDone:
 		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
@@ -401,7 +401,7 @@
 			}
 			b.apply(jobs.Op{Kind: jobs.OpBegun, Number: v.Number, Machine: m}, now)
 			delete(v.away, m)
-			b.out.Notes = append(b.out.Notes, Note{What: "maintenance-dropped", Reason: fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number)})
+			b.noteFleet(DecisionNoMachine, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
 		}
 	}
 }
--- /dev/null
+++ b/io/trans/roles/jobs_test.go
@@ -0,0 +1,44 @@
+package roles
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/sched"
+	"camphorridge/io/trans/logs"
+)
+
+// TestNoteLines guards against lines of decisions that lose their job, their
+// worker or their level: those who follow a complaint search for them.
+func TestNoteLines(t *testing.T) {
+	var out bytes.Buffer
+	l, err := logs.New(&out, logs.Settings{Level: "info", Process: "c1", Zone: "zone-a"}, clock.NewFake(1_796_382_000_123).Clock())
+	assert.NilError(t, err)
+	c := &Control{log: l}
+	task := jobs.Task{Job: "j-1", Occurrence: 1, Step: 2, Index: 3}
+	c.logNotes([]sched.Note{
+		{What: sched.DecisionAccepted, Task: jobs.Task{Job: "j-1"}, Reason: "queue q at version 3"},
+		{What: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
+		{What: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
+		{What: sched.DecisionFailed, Task: jobs.Task{Job: "j-1"}, Reason: "after 9 ms", Failure: true},
+		{What: sched.DecisionMoved, Reason: "m-1 to p"},
+	})
+	golden.Assert(t, out.String(), "note-lines.txt")
+}
+
+// TestDecisionsAreExplained guards against lines that the operators' page does
+// not know.
+func TestDecisionsAreExplained(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for _, d := range sched.Decisions {
+		assert.Assert(t, strings.Contains(string(page), "`"+string(d)+"`"), "%s is not on the page", d)
+	}
+}
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -229,16 +229,18 @@
 
 // Run checks until Stop.
 func (p *pinger) Run() error {
+	// The readiness also ends by age, between two checks.
+	was := false
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
 		a, err := p.submitter.leader.Work(ctx, runner.Call{Kind: runner.CallPing})
 		cancel()
-		was := p.submitter.Ready()
 		if err == nil && a.Kind == runner.AnswerDone {
 			p.submitter.pinged.Store(int64(p.submitter.clock.Now()))
 		}
 		if is := p.submitter.Ready(); is != was {
 			p.submitter.Log.Info("readiness-changed", "ready", is, "err", err, "reason", a.Reason)
+			was = is
 		}
 		select {
 		case <-p.submitter.clock.After(pingWait):
