Let a gang keep room only where it can come about

Cause, found by reading the change again: room was kept for a gang that the pool could hold if it ran nothing, also where lasting tasks have that room for good, or no worker has a ticket for the step. Until the gang was late nothing after it started in its pool.

Change: the count of what a pool could hold leaves out the room of lasting tasks and workers that advice does not allow.

--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -109,14 +109,14 @@
 }
 
 // capacity counts the tasks of a group that the pool's workers, and those of
-// its best rack, could run if they ran nothing else.
+// its best rack, could run once all that ends by itself has ended.
 func (b *Board[O, J]) capacity(p *pool, g *group, now clock.Millis) (whole, rack int) {
 	byRack := map[string]int{}
 	for _, w := range b.workers {
-		if b.pools[w.pool] != p || !w.known || w.until < now || !b.takes(w, g, now) {
+		if b.pools[w.pool] != p || !w.known || w.until < now || !b.takes(w, g, now) || !b.allowed(w, g, now) {
 			continue
 		}
-		n := w.seats(w.room, g)
+		n := w.seats(w.beside(), g)
 		whole += n
 		byRack[w.rack] += n
 		rack = max(rack, byRack[w.rack])
@@ -124,9 +124,20 @@
 	return whole, rack
 }
 
+// beside is the worker's room that its lasting tasks leave.
+func (w *worker) beside() jobs.Size {
+	room := w.room
+	for _, r := range w.runs {
+		if r.step.Lasting {
+			room = room.Minus(counted(r.step))
+		}
+	}
+	return room
+}
+
 // keepRoom reports whether work that comes after a gang has to leave the free
 // room of the pool to it: without that a wide gang never finds enough at once.
-// A gang that the whole pool could not hold keeps none.
+// A gang that the pool cannot hold, or that waits for advice, keeps none.
 func (b *Board[O, J]) keepRoom(p *pool, g *group, now clock.Millis) bool {
 	if g.rank.Class == classLate || now-g.since < roomMillis {
 		return false
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -158,6 +158,43 @@
 	t.Fatal("the gang did not start")
 }
 
+// TestImpossibleGangKeepsNoRoom guards against a gang that stops all other work
+// of its pool, although its room cannot come about: lasting tasks have it, or
+// the advice service has named no worker.
+func TestImpossibleGangKeepsNoRoom(t *testing.T) {
+	wide := crew
+	wide.Count = 4
+	lasting := jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
+	for _, c := range []struct {
+		name string
+		rig  *rig
+		// before is handed in first.
+		before []jobs.Step
+	}{
+		{"lasting tasks", newRig(Defaults()), []jobs.Step{lasting}},
+		{"advice", newAdvisedRig(), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := c.rig
+			if c.before != nil {
+				r.submit("before", c.before...)
+			}
+			r.hear("w1", 1, nil)
+			running := runningOf(orders(r.Pass(r.now), "w1"))
+			r.submit("g", wide)
+			r.now += 2 * roomMillis
+			g := r.pool("p").groups
+			assert.Assert(t, !r.keepRoom(r.pool("p"), g[len(g)-1], r.now))
+			if c.before == nil {
+				return
+			}
+			r.submit("small", small)
+			r.hear("w1", 1, running)
+			assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 1)
+		})
+	}
+}
+
 // TestGangKeepsToOneRack guards against a gang for one rack that is spread over
 // two, where its tasks take a multiple of their time, although a rack has room
 // or will have it soon, and against one that waits although none could hold it.
