Write the platform's reason with each order that was not carried out

Cause: errors of calls to the platform became a status of 0, and a move that was refused or had no answer left no line, nor did a list of machines that could not be read.

Change: outcomes carry the reason, which is part of the lines on maintenance, moves, lists and advice.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -161,7 +161,7 @@
 	step.next = now
 	if o.Answer != AnswerDone {
 		step.next = now + askRetry
-		b.noteJob(DecisionNoAdvice, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o.Answer), true)
+		b.noteJob(DecisionNoAdvice, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o), true)
 		return
 	}
 	for id, life := range lives {
@@ -182,7 +182,7 @@
 
 // forgetAdvice drops what is known of the steps of a job that is over.
 func (b *Board[O, J]) forgetAdvice(r *jobs.Record) {
-	if b.adviceOf(r).Valid == 0 {
+	if len(b.advice.steps) == 0 {
 		return
 	}
 	for k := range r.Occurrences {
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -19,6 +19,8 @@
 	DecisionNoAdvice   Decision = "advice-missing"
 	DecisionLoad       Decision = "pool-load"
 	DecisionMoved      Decision = "machine-moved"
+	DecisionNotMoved   Decision = "machine-not-moved"
+	DecisionNoList     Decision = "machines-not-listed"
 	DecisionMaintain   Decision = "maintenance-ordered"
 	DecisionMaintained Decision = "maintenance-answered"
 	DecisionNoMachine  Decision = "maintenance-dropped"
@@ -27,7 +29,7 @@
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionAside, DecisionAdvice, DecisionNoAdvice, DecisionLoad, DecisionMoved, DecisionMaintain, DecisionMaintained,
+	DecisionAside, DecisionAdvice, DecisionNoAdvice, DecisionLoad, DecisionMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
 	DecisionNoMachine,
 }
 
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -188,6 +188,7 @@
 	if o.Answer != AnswerDone {
 		// Machines that are off are not known, but those of the pools are.
 		f.unlisted = true
+		b.noteFleet(DecisionNoList, o.String())
 		return
 	}
 	f.listed = now
@@ -428,14 +429,17 @@
 }
 
 // moved takes the platform's answer to a move.
-func (b *Board[O, J]) moved(a Action, answer Answer, now clock.Millis) {
+func (b *Board[O, J]) moved(a Action, o Outcome, now clock.Millis) {
 	v, ok := b.fleet.moves[a.Machine]
 	if !ok || v.to != a.Pool {
 		return
 	}
 	w := b.machines[a.Machine]
 	same := w != nil && w.life == v.life
-	switch answer {
+	if o.Answer != AnswerDone {
+		b.noteFleet(DecisionNotMoved, fmt.Sprintf("%s to %s: %s", a.Machine, a.Pool, o))
+	}
+	switch o.Answer {
 	case AnswerDone:
 		b.noteFleet(DecisionMoved, string(a.Machine)+" to "+string(a.Pool))
 		if same {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -180,12 +180,22 @@
 // Outcome is the platform's answer to an action.
 type Outcome struct {
 	Answer Answer
+	// Reason says why the answer is not AnswerDone; empty for no reason given.
+	Reason string
 	// Machines answers ActionList.
 	Machines []Machine
 	// Tickets answers ActionAdvise.
 	Tickets []Ticket
 }
 
+// String returns the answer and its reason for logs.
+func (o Outcome) String() string {
+	if o.Reason == "" {
+		return o.Answer.String()
+	}
+	return o.Answer.String() + ": " + o.Reason
+}
+
 // Plan is the outcome of a pass.
 type Plan struct {
 	// Ops have to be committed before anything else of the plan takes effect.
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -340,9 +340,9 @@
 func (b *Board[O, J]) Acted(a Action, o Outcome, now clock.Millis) {
 	switch a.Kind {
 	case ActionMaintain:
-		b.maintained(a, o.Answer, now)
+		b.maintained(a, o, now)
 	case ActionMove:
-		b.moved(a, o.Answer, now)
+		b.moved(a, o, now)
 	case ActionList:
 		b.machinesListed(o, now)
 	case ActionAdvise:
@@ -350,14 +350,14 @@
 	}
 }
 
-func (b *Board[O, J]) maintained(o Action, a Answer, now clock.Millis) {
+func (b *Board[O, J]) maintained(o Action, out Outcome, now clock.Millis) {
 	v := b.waves[o.Wave]
 	if v == nil {
 		return
 	}
 	delete(v.flying, o.Machine)
-	b.noteFleet(DecisionMaintained, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, a))
-	switch a {
+	b.noteFleet(DecisionMaintained, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
+	switch out.Answer {
 	case AnswerDone:
 		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
 		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
