Count a failed run of a gang once in lines and explanations

Cause, found by reading: the sums over the tasks of a gang count a failed run for each task that started after it.

Change: the failed runs of a step are counted in one place, which knows gangs.

Result: TestGangFailuresCountByRun counts 2 failed runs; with the sum over the tasks it counts 7.

--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -188,6 +188,19 @@
 // stepOf returns the state of a task's step.
 func (r *Record) stepOf(t Task) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
 
+// Fails counts the failed runs of a step; the tasks of a gang fail together.
+func (r *Record) Fails(occurrence, step int) int {
+	st := &r.Occurrences[occurrence].Steps[step]
+	if r.Steps[step].Gang {
+		return st.fails()
+	}
+	n := 0
+	for i := range st.Tasks {
+		n += st.Tasks[i].Fails
+	}
+	return n
+}
+
 // fails counts the failed runs of a gang.
 func (st *StepState) fails() int {
 	n := 0
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -287,9 +287,11 @@
 		reason += fmt.Sprintf(", %d ms late", late)
 	}
 	runs, fails := 0, 0
-	for _, t := range r.All() {
+	for id, t := range r.All() {
 		runs += t.Run
-		fails += t.Fails
+		if id.Index == 0 {
+			fails += r.Fails(id.Occurrence, id.Step)
+		}
 	}
 	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, fails)
 	b.noteJob(finalDecision(r.Status), r, reason, late > 0 || r.Status == jobs.StatusFailed)
