Name a step's key and the heard workers of a pool once

Cause, found by reading the whole change: the key of a task's step, a task of a key, and the passing of a pool's workers that were heard lately were written out at seven, four and three places of package sched.

Change: keyOf, groupKey.task and Board.heard serve all of them. Behaviour is as it was.

Result: the tests of the package pass unchanged.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -114,7 +114,7 @@
 	b.advice.asking, b.advice.lives, b.advice.asked = g.key, lives, now
 	rule := b.adviceOf(g.rec)
 	b.out.Actions = append(b.out.Actions, Action{
-		Kind: ActionAdvise, Step: g.task(0), Workers: names, Takes: rule.Decide + clock.Millis(len(names))*rule.Each,
+		Kind: ActionAdvise, Step: g.key.task(0), Workers: names, Takes: rule.Decide + clock.Millis(len(names))*rule.Each,
 	})
 }
 
@@ -122,8 +122,8 @@
 // which it is not known whether they may.
 func (b *Board[O, J]) unasked(p *pool, g *group, a *advised, now clock.Millis) []*worker {
 	var open []*worker
-	for _, w := range b.workers {
-		if b.pools[w.pool] != p || !w.known || w.until < now || !b.takes(w, g, now) || w.seats(w.room, g) == 0 {
+	for w := range b.heard(p, now) {
+		if !b.takes(w, g, now) || w.seats(w.room, g) == 0 {
 			continue
 		}
 		o, ok := a.opinions[w.id]
@@ -194,7 +194,7 @@
 
 // refusedTicket drops a ticket that a worker has not accepted.
 func (b *Board[O, J]) refusedTicket(w *worker, r *run) {
-	if a := b.advice.steps[groupKey{r.task.Job, r.task.Occurrence, r.task.Step}]; a != nil {
+	if a := b.advice.steps[keyOf(r.task)]; a != nil {
 		delete(a.opinions, w.id)
 	}
 }
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -250,7 +250,7 @@
 }
 
 func (b *Board[O, J]) startOf(w *worker, r *run) Start {
-	ticket, _ := b.ticket(w, groupKey{r.task.Job, r.task.Occurrence, r.task.Step}, b.now)
+	ticket, _ := b.ticket(w, keyOf(r.task), b.now)
 	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Saved: r.rec.Task(r.task).Saved, Ticket: ticket}
 }
 
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -159,12 +159,7 @@
 	p := b.pool(b.poolOf(r))
 	g := &group{key: groupKey{r.ID, k, i}, rec: r, step: &r.Steps[i]}
 	need := counted(g.step)
-	var left []*worker
-	for _, w := range b.workers {
-		if b.pools[w.pool] == p && w.known && w.until >= now {
-			left = append(left, w)
-		}
-	}
+	left := slices.Collect(b.heard(p, now))
 	for _, c := range []struct {
 		limit Limit
 		holds func(*worker) bool
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -25,16 +25,12 @@
 	}
 	// All of them were started as often, so that they share the run number.
 	for n, w := range workers {
-		b.start(w, g, g.task(n), now)
+		b.start(w, g, g.key.task(n), now)
 	}
 	g.waiting = g.waiting[:0]
 	return true
 }
 
-func (g *group) task(index int) jobs.Task {
-	return jobs.Task{Job: g.key.job, Occurrence: g.key.occurrence, Step: g.key.step, Index: index}
-}
-
 // seats picks a present worker for each task of a gang; nil when there is not
 // room for all of them. A gang for one rack waits for it for as long as one of
 // its tasks takes, because it works more slowly on several.
@@ -90,7 +86,7 @@
 func (b *Board[O, J]) failedWorkers(g *group) map[jobs.WorkerID]bool {
 	failed := map[jobs.WorkerID]bool{}
 	for n := range g.step.Count {
-		if id, ok := b.failedOn[g.task(n)]; ok {
+		if id, ok := b.failedOn[g.key.task(n)]; ok {
 			failed[id] = true
 		}
 	}
@@ -112,8 +108,8 @@
 // its best rack, could run once all that ends by itself has ended.
 func (b *Board[O, J]) capacity(p *pool, g *group, now clock.Millis) (whole, rack int) {
 	byRack := map[string]int{}
-	for _, w := range b.workers {
-		if b.pools[w.pool] != p || !w.known || w.until < now || !b.takes(w, g, now) || !b.allowed(w, g, now) {
+	for w := range b.heard(p, now) {
+		if !b.takes(w, g, now) || !b.allowed(w, g, now) {
 			continue
 		}
 		n := w.seats(w.beside(), g)
@@ -154,7 +150,7 @@
 	}
 	st := &r.Occurrences[t.Occurrence].Steps[t.Step]
 	for n := range st.Tasks {
-		id := jobs.Task{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: n}
+		id := keyOf(t).task(n)
 		if w, x := b.assigned(id, &st.Tasks[n]); x != nil {
 			b.stop(w, x, "another task of its gang ended")
 		}
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"camphorridge/core/state/clock"
@@ -110,6 +111,14 @@
 	step       int
 }
 
+// keyOf returns the step of a task.
+func keyOf(t jobs.Task) groupKey { return groupKey{t.Job, t.Occurrence, t.Step} }
+
+// task returns a task of the step.
+func (k groupKey) task(index int) jobs.Task {
+	return jobs.Task{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
+}
+
 // group is the waiting tasks of one step.
 type group struct {
 	key  groupKey
@@ -134,6 +143,17 @@
 	return cmp.Or(cmp.Compare(l.due, m.due), cmp.Compare(l.job, m.job), cmp.Compare(l.occurrence, m.occurrence)) < 0
 }
 
+// heard yields the workers of a pool that were heard lately.
+func (b *Board[O, J]) heard(p *pool, now clock.Millis) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for _, w := range b.workers {
+			if b.pools[w.pool] == p && w.known && w.until >= now && !yield(w) {
+				return
+			}
+		}
+	}
+}
+
 func (b *Board[O, J]) pool(name jobs.PoolName) *pool {
 	p := b.pools[name]
 	if p == nil {
@@ -183,7 +203,7 @@
 		return
 	}
 	p := b.pool(b.poolOf(r))
-	key := groupKey{t.Job, t.Occurrence, t.Step}
+	key := keyOf(t)
 	g := p.index[key]
 	if g != nil && len(g.waiting) == 0 {
 		g.since = now
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -91,7 +91,7 @@
 		}
 		for len(g.waiting) > 0 {
 			n := len(g.waiting) - 1
-			t := jobs.Task{Job: g.key.job, Occurrence: g.key.occurrence, Step: g.key.step, Index: g.waiting[n]}
+			t := g.key.task(g.waiting[n])
 			w, roomy := b.choose(p, g, t, now)
 			if w == nil {
 				if !roomy {
@@ -165,7 +165,7 @@
 func (w *worker) count(k groupKey) int {
 	n := 0
 	for t := range w.runs {
-		if t.Job == k.job && t.Occurrence == k.occurrence && t.Step == k.step {
+		if keyOf(t) == k {
 			n++
 		}
 	}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -211,7 +211,7 @@
 				return false
 			}
 		case r.step.MayMiss > 0 && r.atWork():
-			k := groupKey{t.Job, t.Occurrence, t.Step}
+			k := keyOf(t)
 			lost[k]++
 			recs[k] = r.rec
 		}
@@ -238,7 +238,7 @@
 func (b *Board[O, J]) thin(w *worker, k groupKey, n int) {
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
-		if id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step && r.listed && !r.stopping {
+		if keyOf(id) == k && r.listed && !r.stopping {
 			b.stop(w, r, fmt.Sprintf("%d of its step are on a machine to be maintained, no other is away", n))
 			return
 		}
@@ -257,7 +257,7 @@
 			n++
 			continue
 		}
-		r := w.runs[jobs.Task{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: i}]
+		r := w.runs[k.task(i)]
 		if r == nil || !r.atWork() {
 			n++
 		}
@@ -303,7 +303,7 @@
 		for _, t := range sortedTasks(w.runs) {
 			r := w.runs[t]
 			if r.step.MayMiss > 0 {
-				away := b.missing(r.rec, groupKey{t.Job, t.Occurrence, t.Step})
+				away := b.missing(r.rec, keyOf(t))
 				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MayMiss)
 			}
 		}
