--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -16,6 +16,13 @@
 	MachineID string
 )
 
+// Bounds of a job that is handed in.
+const (
+	MaxSpecBytes = 4000
+	// MaxTasks bounds the tasks over all occurrences.
+	MaxTasks = 20_000
+)
+
 // Size is an amount of processors, memory and accelerators.
 type Size struct {
 	MilliCores   int
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -10,12 +10,8 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Bounds of a job file.
-const (
-	maxJobTasks  = 20_000
-	maxTimes     = 1000
-	maxSpecBytes = 4000
-)
+// maxTimes bounds the occurrences of a job.
+const maxTimes = 1000
 
 // jobFile is a job as it is read; names holds the names of its steps.
 type jobFile struct {
@@ -61,13 +57,13 @@
 func stepKeys() []Key[jobFile] {
 	const many = 1_000_000
 	return []Key[jobFile]{
-		stepInt("tasks", "", 1, maxJobTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.Count }),
+		stepInt("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.Count }),
 		stepInt("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Need.MilliCores }),
 		stepInt("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Need.MemoryMiB }),
 		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Need.Accelerators }),
 		stepInt("estimate-ms", "ms", 0, 366*clock.Day, "rough duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
-		stepInt("per-worker", "tasks", 0, maxJobTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.PerWorker }),
-		stepInt("may-miss", "tasks", 0, maxJobTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MayMiss }),
+		stepInt("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.PerWorker }),
+		stepInt("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MayMiss }),
 		stepInt("latency-ms", "ms", 0, clock.Hour, "bound on the tail of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.Latency }),
 		stepFlag("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Saves }),
 		stepFlag("gang", "tasks work only all together", func(s *jobs.Step) *bool { return &s.Gang }),
@@ -142,7 +138,7 @@
 	if len(f.job.Steps) == 0 {
 		d.add("step "+family, "", "", "no step", "one section or more, with a key in it")
 	}
-	if total*max(f.job.Times, 1) > maxJobTasks {
-		d.add("job", "", fmt.Sprint(total*max(f.job.Times, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", maxJobTasks))
+	if total*max(f.job.Times, 1) > jobs.MaxTasks {
+		d.add("job", "", fmt.Sprint(total*max(f.job.Times, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", jobs.MaxTasks))
 	}
 }
--- a/io/proto/conf/rule.go
+++ b/io/proto/conf/rule.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/model"
 )
 
@@ -33,7 +34,7 @@
 
 var specRule = rule{
 	allowed: "at most 4000 bytes",
-	accepts: func(s string) bool { return len(s) <= maxSpecBytes },
+	accepts: func(s string) bool { return len(s) <= jobs.MaxSpecBytes },
 }
 
 // wordRule accepts one of the words.
