--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -67,7 +67,7 @@
 
 // confirmAdvice tells a process that still has requests in flight from one
 // that is silent.
-func confirmAdvice(o Objects, p Process) Advice {
+func confirmAdvice(o CurrentState, p Process) Advice {
 	if p.Seen == 0 || o.Now-p.Seen > SilentAfter {
 		return Advice{ActionProcess, string(p.Name)}
 	}
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -38,8 +38,8 @@
 	Seen clock.Millis
 }
 
-// Objects is the present state that explanations refer to.
-type Objects struct {
+// CurrentState is the present state that explanations refer to.
+type CurrentState struct {
 	Now         clock.Millis
 	Contracts   map[model.Customer]model.Contract
 	Instances   map[model.InstanceID]model.Instance
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -12,7 +12,7 @@
 
 const now = clock.Millis(100_000)
 
-func objects() trail.Objects {
+func objects() trail.CurrentState {
 	instances := map[model.InstanceID]model.Instance{}
 	for _, i := range []model.Instance{
 		{ID: "i1", Zone: "a", Pool: "log", Phase: model.PhaseServing},
@@ -23,7 +23,7 @@
 	} {
 		instances[i.ID] = i
 	}
-	return trail.Objects{
+	return trail.CurrentState{
 		Now: now, Instances: instances,
 		Contracts: map[model.Customer]model.Contract{
 			"pomar": {Customer: "pomar", Pools: []model.PoolShare{{Pool: "log", Instances: 4}}, MaxUnavailable: 2},
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -49,7 +49,7 @@
 
 // Measure computes the figures. Events must be in causal order, as Merge
 // returns them; changes whose events were dropped are left out.
-func Measure(o Objects, events []model.Event) Measures {
+func Measure(o CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
 		switch e.Kind {
@@ -71,7 +71,7 @@
 	return m
 }
 
-func rollout(o Objects, change model.Event, after []model.Event) Rollout {
+func rollout(o CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
 	for _, p := range o.Processes {
@@ -104,7 +104,7 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
-func wave(o Objects, m model.Maintenance) Wave {
+func wave(o CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
 	last := m.Declared
 	for _, i := range o.Instances {
@@ -126,7 +126,7 @@
 
 // idle counts the serving instances beyond the promise of their pools. Spare
 // instances are all idle, as nothing is promised in a spare pool.
-func idle(o Objects) int {
+func idle(o CurrentState) int {
 	promised := map[model.Pool]int{}
 	for _, c := range o.Contracts {
 		for _, p := range c.Pools {
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -15,7 +15,7 @@
 	at := func(ms clock.Millis, p model.Process, k model.EventKind, v model.Version) model.Event {
 		return model.Event{Stamp: model.Stamp{Wall: ms}, Process: p, Kind: k, Version: v, Customer: "acme"}
 	}
-	o := Objects{
+	o := CurrentState{
 		Now:       9000,
 		Processes: []Process{{Name: "e1"}, {Name: "e2"}},
 		Contracts: map[model.Customer]model.Contract{"acme": {Pools: []model.PoolShare{{Pool: "merge", Instances: 1}}}},
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -12,7 +12,7 @@
 const contextSpan = 5 * clock.Second
 
 // ExplainCustomer explains a customer. The events must be merged.
-func ExplainCustomer(o Objects, events []model.Event, name model.Customer) Explanation {
+func ExplainCustomer(o CurrentState, events []model.Event, name model.Customer) Explanation {
 	c, known := o.Contracts[name]
 	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Known: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
@@ -40,7 +40,7 @@
 }
 
 // ExplainInstance explains an instance. The events must be merged.
-func ExplainInstance(o Objects, events []model.Event, id model.InstanceID) Explanation {
+func ExplainInstance(o CurrentState, events []model.Event, id model.InstanceID) Explanation {
 	i, known := o.Instances[id]
 	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Known: known, Instance: i}
 	x.collect(events, func(e model.Event) bool { return e.Instance == id })
@@ -53,7 +53,7 @@
 
 // ExplainRequest explains a request by its identity. The events must be
 // merged.
-func ExplainRequest(o Objects, events []model.Event, id string) Explanation {
+func ExplainRequest(o CurrentState, events []model.Event, id string) Explanation {
 	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
 	x.collect(events, func(e model.Event) bool { return e.Request == id })
 	if len(x.Happened) == 0 {
@@ -126,7 +126,7 @@
 
 // disruption reports whether the customer's limit of unavailable instances is
 // reached by released instances and those in maintenance.
-func disruption(o Objects, c model.Contract) (b Block, reached bool) {
+func disruption(o CurrentState, c model.Contract) (b Block, reached bool) {
 	out := 0
 	for _, i := range o.Instances {
 		if holds(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
@@ -158,7 +158,7 @@
 }
 
 // instanceBlocks returns what keeps an instance from serving or moving on.
-func instanceBlocks(o Objects, latest map[model.InstanceID]model.Event, i model.Instance) []Block {
+func instanceBlocks(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Block {
 	var blocks []Block
 	switch i.Phase {
 	case model.PhaseReleasing:
@@ -195,7 +195,7 @@
 
 // waveBlocks returns the declared maintenance that has not reached a serving
 // instance, with the customers whose limits hold it up.
-func waveBlocks(o Objects, i model.Instance) []Block {
+func waveBlocks(o CurrentState, i model.Instance) []Block {
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -78,8 +78,8 @@
 	return out
 }
 
-func objects(s report.Status) trail.Objects {
-	o := trail.Objects{
+func objects(s report.Status) trail.CurrentState {
+	o := trail.CurrentState{
 		Now: s.Now, Contracts: map[model.Customer]model.Contract{}, Instances: map[model.InstanceID]model.Instance{},
 		Maintenance: map[string]model.Maintenance{},
 	}
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -184,8 +184,8 @@
 	})
 }
 
-func objectsOf(v peers.Overview) trail.Objects {
-	x := trail.Objects{
+func objectsOf(v peers.Overview) trail.CurrentState {
+	x := trail.CurrentState{
 		Now:         v.Status.Now,
 		Contracts:   map[model.Customer]model.Contract{},
 		Instances:   map[model.InstanceID]model.Instance{},
