--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -31,9 +31,9 @@
 	Name    model.Process
 	Zone    model.Zone
 	Version model.Version
-	// Drained is the version up to which the process has carried out every
+	// DrainedVersion is the version up to which the process has carried out every
 	// release.
-	Drained model.Version
+	DrainedVersion model.Version
 	// Seen is the time of its last report; 0 for never.
 	Seen clock.Millis
 }
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -163,7 +163,7 @@
 	switch i.Phase {
 	case model.PhaseReleasing:
 		for _, p := range o.Processes {
-			if p.Zone == i.Zone && p.Drained < i.Version {
+			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
 				blocks = append(blocks, Block{
 					Kind: BlockConfirm, Instance: i.ID, Pool: i.Pool, Process: p.Name,
 					Since: i.Since, Advice: confirmAdvice(o, p),
