--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -34,8 +34,8 @@
 	// DrainedVersion is the version up to which the process has carried out every
 	// release.
 	DrainedVersion model.Version
-	// Seen is the time of its last report; 0 for never.
-	Seen clock.Millis
+	// LastReport is the time of its last report; 0 for never.
+	LastReport clock.Millis
 }
 
 // CurrentState is the present state that explanations refer to.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -32,10 +32,10 @@
 			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, Declared: 70_000, Deadline: 200_000},
 		},
 		Processes: []trail.Process{
-			{Name: "e1", Zone: "a", DrainedVersion: 39, Seen: now - clock.Second},
-			{Name: "e2", Zone: "a", DrainedVersion: 10, Seen: 50_000},
-			{Name: "e3", Zone: "a", DrainedVersion: 40, Seen: now},
-			{Name: "e4", Zone: "b", DrainedVersion: 0, Seen: now},
+			{Name: "e1", Zone: "a", DrainedVersion: 39, LastReport: now - clock.Second},
+			{Name: "e2", Zone: "a", DrainedVersion: 10, LastReport: 50_000},
+			{Name: "e3", Zone: "a", DrainedVersion: 40, LastReport: now},
+			{Name: "e4", Zone: "b", DrainedVersion: 0, LastReport: now},
 		},
 	}
 }
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -93,7 +93,7 @@
 		o.Maintenance[m.Name] = m
 	}
 	for _, p := range s.Processes {
-		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, DrainedVersion: p.Drained, Seen: p.Seen})
+		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, DrainedVersion: p.Drained, LastReport: p.Seen})
 	}
 	return o
 }
