--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -55,9 +55,9 @@
 	Subject Subject
 	Name    string
 	Now     clock.Millis
-	// Known is false when neither the objects nor the events mention the
+	// Found is false when neither the objects nor the events mention the
 	// subject.
-	Known bool
+	Found bool
 	// Contract and Pools are set for a customer, Instance for an instance.
 	Contract model.Contract
 	Pools    []PoolState
@@ -164,7 +164,7 @@
 		b := &x.Bounds[i]
 		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
 	}
-	x.Known = x.Known || len(x.Happened) > 0
+	x.Found = x.Found || len(x.Happened) > 0
 	if over := len(x.Happened) - MaxHappened; over > 0 {
 		x.Omitted = over
 		x.Happened = slices.Clone(x.Happened[over:])
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -60,7 +60,7 @@
 // explanation of a customer leaves out or takes from another customer.
 func TestExplainCustomer(t *testing.T) {
 	x := trail.ExplainCustomer(objects(), events(), "pomar")
-	assert.Assert(t, x.Known)
+	assert.Assert(t, x.Found)
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
 	assert.Equal(t, len(x.Happened), 3)
 	assert.DeepEqual(t, x.Bounds, []trail.Bound{{
@@ -78,7 +78,7 @@
 		trail.BlockReturn, trail.BlockEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
-	assert.Assert(t, none.Known, "events name the customer")
+	assert.Assert(t, none.Found, "events name the customer")
 	assert.Equal(t, none.Blocks[0].Kind, trail.BlockContract)
 	assert.Equal(t, none.Bounds[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
 }
@@ -103,7 +103,7 @@
 	assert.Equal(t, due[1].Kind, trail.BlockBudget)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
 	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Blocks), 0, "maintained since the declaration")
-	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Known)
+	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Found)
 }
 
 // TestExplainRequest guards against an unknown outcome without the events of
@@ -114,7 +114,7 @@
 	assert.Equal(t, len(x.Context), 1)
 	assert.Equal(t, x.Context[0].Kind, model.EventEjected)
 	assert.Equal(t, x.Blocks[0].Kind, trail.BlockEjected)
-	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Known)
+	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
 }
 
 // TestExplainIsBounded guards against an explanation that grows with the
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -14,7 +14,7 @@
 // ExplainCustomer explains a customer. The events must be merged.
 func ExplainCustomer(o CurrentState, events []model.Event, name model.Customer) Explanation {
 	c, known := o.Contracts[name]
-	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Known: known, Contract: c}
+	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
 		x.Blocks = []Block{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
@@ -42,7 +42,7 @@
 // ExplainInstance explains an instance. The events must be merged.
 func ExplainInstance(o CurrentState, events []model.Event, id model.InstanceID) Explanation {
 	i, known := o.Instances[id]
-	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Known: known, Instance: i}
+	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Found: known, Instance: i}
 	x.collect(events, func(e model.Event) bool { return e.Instance == id })
 	if !known {
 		return x
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -41,7 +41,7 @@
 func explainText(x trail.Explanation) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s at %s\n", x.Subject, clean(x.Name), timeText(x.Now))
-	if !x.Known {
+	if !x.Found {
 		b.WriteString("neither the present state nor the events kept mention it\n")
 	}
 	if x.Instance.ID != "" {
@@ -133,7 +133,7 @@
 }
 
 func explainObject(x trail.Explanation) object {
-	o := object{{"subject", x.Subject}, {"name", x.Name}, {"now-ms", x.Now}, {"known", x.Known}}
+	o := object{{"subject", x.Subject}, {"name", x.Name}, {"now-ms", x.Now}, {"known", x.Found}}
 	if x.Contract.Customer != "" {
 		o = append(o, field{"contract", contractObject(x.Contract)})
 	}
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -177,7 +177,7 @@
 		if err := report.Explain(out, o.format(), x); err != nil {
 			return failed("explain", err)
 		}
-		if !x.Known {
+		if !x.Found {
 			return failed("explain", errors.New("nothing is known of "+o.kind+" "+o.name))
 		}
 		return nil
