--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -62,10 +62,10 @@
 	Contract model.Contract
 	Pools    []PoolState
 	Instance model.Instance
-	// Happened lists the events of the subject itself, oldest first; Omitted
+	// Events lists the events of the subject itself, oldest first; Omitted
 	// counts the older ones left out.
-	Happened []model.Event
-	Omitted  int
+	Events  []model.Event
+	Omitted int
 	// Context lists the events of the same instances around a request.
 	Context []model.Event
 	// Bounds lists the limits that bound, the most recent first.
@@ -150,7 +150,7 @@
 		if !match(e) {
 			continue
 		}
-		x.Happened = append(x.Happened, e)
+		x.Events = append(x.Events, e)
 		if e.Limit == "" {
 			continue
 		}
@@ -164,10 +164,10 @@
 		b := &x.Bounds[i]
 		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
 	}
-	x.Found = x.Found || len(x.Happened) > 0
-	if over := len(x.Happened) - MaxHappened; over > 0 {
+	x.Found = x.Found || len(x.Events) > 0
+	if over := len(x.Events) - MaxHappened; over > 0 {
 		x.Omitted = over
-		x.Happened = slices.Clone(x.Happened[over:])
+		x.Events = slices.Clone(x.Events[over:])
 	}
 	slices.SortStableFunc(x.Bounds, func(a, b Bound) int {
 		return cmp.Or(cmp.Compare(b.Last.Wall, a.Last.Wall), cmp.Compare(b.Last.Count, a.Last.Count))
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -62,7 +62,7 @@
 	x := trail.ExplainCustomer(objects(), events(), "pomar")
 	assert.Assert(t, x.Found)
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
-	assert.Equal(t, len(x.Happened), 3)
+	assert.Equal(t, len(x.Events), 3)
 	assert.DeepEqual(t, x.Bounds, []trail.Bound{{
 		Limit: "queue full", Kind: model.EventRefused, Count: 2, Detail: "second",
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
@@ -110,7 +110,7 @@
 // the upstream around it, and against events from long before.
 func TestExplainRequest(t *testing.T) {
 	x := trail.ExplainRequest(objects(), events(), "r3")
-	assert.Equal(t, len(x.Happened), 1)
+	assert.Equal(t, len(x.Events), 1)
 	assert.Equal(t, len(x.Context), 1)
 	assert.Equal(t, x.Context[0].Kind, model.EventEjected)
 	assert.Equal(t, x.Blocks[0].Kind, trail.BlockEjected)
@@ -125,7 +125,7 @@
 		many = append(many, model.Event{Stamp: model.Stamp{Wall: clock.Millis(i)}, Customer: "pomar", Seq: uint64(i)})
 	}
 	x := trail.ExplainCustomer(objects(), many, "pomar")
-	assert.Equal(t, len(x.Happened), trail.MaxHappened)
+	assert.Equal(t, len(x.Events), trail.MaxHappened)
 	assert.Equal(t, x.Omitted, 2*trail.MaxHappened)
-	assert.Equal(t, x.Happened[0].Seq, uint64(2*trail.MaxHappened))
+	assert.Equal(t, x.Events[0].Seq, uint64(2*trail.MaxHappened))
 }
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -56,13 +56,13 @@
 func ExplainRequest(o CurrentState, events []model.Event, id string) Explanation {
 	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
 	x.collect(events, func(e model.Event) bool { return e.Request == id })
-	if len(x.Happened) == 0 {
+	if len(x.Events) == 0 {
 		return x
 	}
-	from := x.Happened[0].Stamp.Wall - contextSpan
-	to := x.Happened[len(x.Happened)-1].Stamp.Wall + contextSpan
+	from := x.Events[0].Stamp.Wall - contextSpan
+	to := x.Events[len(x.Events)-1].Stamp.Wall + contextSpan
 	involved := map[model.InstanceID]bool{}
-	for _, e := range x.Happened {
+	for _, e := range x.Events {
 		if e.Instance != "" {
 			involved[e.Instance] = true
 		}
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -60,7 +60,7 @@
 	if x.Omitted > 0 {
 		fmt.Fprintf(&b, "\n%d older events are left out\n", x.Omitted)
 	}
-	section(&b, "Events", eventsTable(x.Happened))
+	section(&b, "Events", eventsTable(x.Events))
 	section(&b, "Events of the same instances around it", eventsTable(x.Context))
 	return b.String()
 }
@@ -165,7 +165,7 @@
 		})},
 		field{"blocks", list(x.Blocks, blockObject)},
 		field{"omitted", x.Omitted},
-		field{"events", list(x.Happened, eventObject)},
+		field{"events", list(x.Events, eventObject)},
 		field{"context", list(x.Context, eventObject)},
 	)
 }
