--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -64,8 +64,8 @@
 	Instance model.Instance
 	// Events lists the events of the subject itself, oldest first; Omitted
 	// counts the older ones left out.
-	Events  []model.Event
-	Omitted int
+	Events        []model.Event
+	OmittedEvents int
 	// Context lists the events of the same instances around a request.
 	Context []model.Event
 	// Bounds lists the limits that bound, the most recent first.
@@ -166,7 +166,7 @@
 	}
 	x.Found = x.Found || len(x.Events) > 0
 	if over := len(x.Events) - MaxHappened; over > 0 {
-		x.Omitted = over
+		x.OmittedEvents = over
 		x.Events = slices.Clone(x.Events[over:])
 	}
 	slices.SortStableFunc(x.Bounds, func(a, b Bound) int {
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -126,6 +126,6 @@
 	}
 	x := trail.ExplainCustomer(objects(), many, "pomar")
 	assert.Equal(t, len(x.Events), trail.MaxHappened)
-	assert.Equal(t, x.Omitted, 2*trail.MaxHappened)
+	assert.Equal(t, x.OmittedEvents, 2*trail.MaxHappened)
 	assert.Equal(t, x.Events[0].Seq, uint64(2*trail.MaxHappened))
 }
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -57,8 +57,8 @@
 	section(&b, "Pools", pools)
 	section(&b, "Limits that bound", boundsTable(x.Bounds))
 	section(&b, "In the way now", blocksTable(x.Blocks))
-	if x.Omitted > 0 {
-		fmt.Fprintf(&b, "\n%d older events are left out\n", x.Omitted)
+	if x.OmittedEvents > 0 {
+		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
 	}
 	section(&b, "Events", eventsTable(x.Events))
 	section(&b, "Events of the same instances around it", eventsTable(x.Context))
@@ -164,7 +164,7 @@
 			}
 		})},
 		field{"blocks", list(x.Blocks, blockObject)},
-		field{"omitted", x.Omitted},
+		field{"omitted", x.OmittedEvents},
 		field{"events", list(x.Events, eventObject)},
 		field{"context", list(x.Context, eventObject)},
 	)
