--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -66,8 +66,8 @@
 	// counts the older ones left out.
 	Events        []model.Event
 	OmittedEvents int
-	// Context lists the events of the same instances around a request.
-	Context []model.Event
+	// RelatedEvents lists the events of the same instances around a request.
+	RelatedEvents []model.Event
 	// Bounds lists the limits that bound, the most recent first.
 	Bounds []Bound
 	// Blocks lists what stands in the way now.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -111,8 +111,8 @@
 func TestExplainRequest(t *testing.T) {
 	x := trail.ExplainRequest(objects(), events(), "r3")
 	assert.Equal(t, len(x.Events), 1)
-	assert.Equal(t, len(x.Context), 1)
-	assert.Equal(t, x.Context[0].Kind, model.EventEjected)
+	assert.Equal(t, len(x.RelatedEvents), 1)
+	assert.Equal(t, x.RelatedEvents[0].Kind, model.EventEjected)
 	assert.Equal(t, x.Blocks[0].Kind, trail.BlockEjected)
 	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
 }
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -69,11 +69,11 @@
 	}
 	for _, e := range events {
 		if involved[e.Instance] && e.Request != id && e.Stamp.Wall >= from && e.Stamp.Wall <= to {
-			x.Context = append(x.Context, e)
+			x.RelatedEvents = append(x.RelatedEvents, e)
 		}
 	}
-	if over := len(x.Context) - MaxHappened; over > 0 {
-		x.Context = slices.Clone(x.Context[over:])
+	if over := len(x.RelatedEvents) - MaxHappened; over > 0 {
+		x.RelatedEvents = slices.Clone(x.RelatedEvents[over:])
 	}
 	latest := latestUpstreams(events)
 	for _, i := range sorted(o.Instances) {
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -61,7 +61,7 @@
 		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
 	}
 	section(&b, "Events", eventsTable(x.Events))
-	section(&b, "Events of the same instances around it", eventsTable(x.Context))
+	section(&b, "Events of the same instances around it", eventsTable(x.RelatedEvents))
 	return b.String()
 }
 
@@ -166,7 +166,7 @@
 		field{"blocks", list(x.Blocks, blockObject)},
 		field{"omitted", x.OmittedEvents},
 		field{"events", list(x.Events, eventObject)},
-		field{"context", list(x.Context, eventObject)},
+		field{"context", list(x.RelatedEvents, eventObject)},
 	)
 }
 
