--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -68,8 +68,8 @@
 	OmittedEvents int
 	// RelatedEvents lists the events of the same instances around a request.
 	RelatedEvents []model.Event
-	// Bounds lists the limits that bound, the most recent first.
-	Bounds []Bound
+	// LimitHits lists the limits that bound, the most recent first.
+	LimitHits []Bound
 	// Blocks lists what stands in the way now.
 	Blocks []Block
 }
@@ -157,11 +157,11 @@
 		k := key{e.Limit, e.Kind}
 		i, ok := at[k]
 		if !ok {
-			i = len(x.Bounds)
+			i = len(x.LimitHits)
 			at[k] = i
-			x.Bounds = append(x.Bounds, Bound{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
+			x.LimitHits = append(x.LimitHits, Bound{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
 		}
-		b := &x.Bounds[i]
+		b := &x.LimitHits[i]
 		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
 	}
 	x.Found = x.Found || len(x.Events) > 0
@@ -169,7 +169,7 @@
 		x.OmittedEvents = over
 		x.Events = slices.Clone(x.Events[over:])
 	}
-	slices.SortStableFunc(x.Bounds, func(a, b Bound) int {
+	slices.SortStableFunc(x.LimitHits, func(a, b Bound) int {
 		return cmp.Or(cmp.Compare(b.Last.Wall, a.Last.Wall), cmp.Compare(b.Last.Count, a.Last.Count))
 	})
 }
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -63,7 +63,7 @@
 	assert.Assert(t, x.Found)
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
 	assert.Equal(t, len(x.Events), 3)
-	assert.DeepEqual(t, x.Bounds, []trail.Bound{{
+	assert.DeepEqual(t, x.LimitHits, []trail.Bound{{
 		Limit: "queue full", Kind: model.EventRefused, Count: 2, Detail: "second",
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
@@ -80,7 +80,7 @@
 	none := trail.ExplainCustomer(objects(), events(), "other")
 	assert.Assert(t, none.Found, "events name the customer")
 	assert.Equal(t, none.Blocks[0].Kind, trail.BlockContract)
-	assert.Equal(t, none.Bounds[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
+	assert.Equal(t, none.LimitHits[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
 }
 
 // TestExplainInstance guards against naming the wrong entry process for a
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -55,7 +55,7 @@
 		pools.add(p.Pool, poolUse(p), p.Promised, p.Serving, p.Releasing, p.Maintenance)
 	}
 	section(&b, "Pools", pools)
-	section(&b, "Limits that bound", boundsTable(x.Bounds))
+	section(&b, "Limits that bound", boundsTable(x.LimitHits))
 	section(&b, "In the way now", blocksTable(x.Blocks))
 	if x.OmittedEvents > 0 {
 		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
@@ -152,7 +152,7 @@
 				{"maintenance", p.Maintenance},
 			}
 		})},
-		field{"bounds", list(x.Bounds, func(b trail.Bound) object {
+		field{"bounds", list(x.LimitHits, func(b trail.Bound) object {
 			return object{
 				{"limit", b.Limit},
 				{"kind", b.Kind},
