--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -70,8 +70,8 @@
 	RelatedEvents []model.Event
 	// LimitHits lists the limits that bound, the most recent first.
 	LimitHits []Bound
-	// Blocks lists what stands in the way now.
-	Blocks []Block
+	// Obstacles lists what stands in the way now.
+	Obstacles []Block
 }
 
 // PoolState compares what a contract promises in a pool with what is there.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -68,9 +68,9 @@
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
 	}})
-	assert.Equal(t, x.Blocks[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
+	assert.Equal(t, x.Obstacles[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
 	var kinds []trail.BlockKind
-	for _, b := range x.Blocks {
+	for _, b := range x.Obstacles {
 		kinds = append(kinds, b.Kind)
 	}
 	assert.DeepEqual(t, kinds, []trail.BlockKind{
@@ -79,7 +79,7 @@
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
 	assert.Assert(t, none.Found, "events name the customer")
-	assert.Equal(t, none.Blocks[0].Kind, trail.BlockContract)
+	assert.Equal(t, none.Obstacles[0].Kind, trail.BlockContract)
 	assert.Equal(t, none.LimitHits[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
 }
 
@@ -87,7 +87,7 @@
 // release that waits, and against advice to wait for a silent process.
 func TestExplainInstance(t *testing.T) {
 	x := trail.ExplainInstance(objects(), events(), "i2")
-	assert.DeepEqual(t, x.Blocks, []trail.Block{
+	assert.DeepEqual(t, x.Obstacles, []trail.Block{
 		{
 			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
 			Advice: trail.Advice{Action: trail.ActionWait, Target: "e1"},
@@ -97,12 +97,12 @@
 			Advice: trail.Advice{Action: trail.ActionProcess, Target: "e2"},
 		},
 	})
-	due := trail.ExplainInstance(objects(), events(), "i1").Blocks
+	due := trail.ExplainInstance(objects(), events(), "i1").Obstacles
 	assert.Equal(t, len(due), 2)
 	assert.Equal(t, due[0].Maintenance, "kernel")
 	assert.Equal(t, due[1].Kind, trail.BlockBudget)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
-	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Blocks), 0, "maintained since the declaration")
+	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Obstacles), 0, "maintained since the declaration")
 	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Found)
 }
 
@@ -113,7 +113,7 @@
 	assert.Equal(t, len(x.Events), 1)
 	assert.Equal(t, len(x.RelatedEvents), 1)
 	assert.Equal(t, x.RelatedEvents[0].Kind, model.EventEjected)
-	assert.Equal(t, x.Blocks[0].Kind, trail.BlockEjected)
+	assert.Equal(t, x.Obstacles[0].Kind, trail.BlockEjected)
 	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
 }
 
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -17,7 +17,7 @@
 	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
-		x.Blocks = []Block{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
+		x.Obstacles = []Block{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
 	instances := sorted(o.Instances)
@@ -28,12 +28,12 @@
 		x.addPool(model.PoolShare{Pool: c.SparePool, Instances: c.Spare}, true, instances)
 	}
 	if b, reached := disruption(o, c); reached {
-		x.Blocks = append(x.Blocks, b)
+		x.Obstacles = append(x.Obstacles, b)
 	}
 	latest := latestUpstreams(events)
 	for _, i := range instances {
 		if holds(c, i.Pool) {
-			x.Blocks = append(x.Blocks, instanceBlocks(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
 		}
 	}
 	return x
@@ -47,7 +47,7 @@
 	if !known {
 		return x
 	}
-	x.Blocks = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
+	x.Obstacles = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
 	return x
 }
 
@@ -78,7 +78,7 @@
 	latest := latestUpstreams(events)
 	for _, i := range sorted(o.Instances) {
 		if involved[i.ID] {
-			x.Blocks = append(x.Blocks, instanceBlocks(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
 		}
 	}
 	return x
@@ -117,7 +117,7 @@
 	if missing > returning {
 		b.Advice.Action = ActionAddInstances
 	}
-	x.Blocks = append(x.Blocks, b)
+	x.Obstacles = append(x.Obstacles, b)
 }
 
 func holds(c model.Contract, p model.Pool) bool {
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -56,7 +56,7 @@
 	}
 	section(&b, "Pools", pools)
 	section(&b, "Limits that bound", boundsTable(x.LimitHits))
-	section(&b, "In the way now", blocksTable(x.Blocks))
+	section(&b, "In the way now", blocksTable(x.Obstacles))
 	if x.OmittedEvents > 0 {
 		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
 	}
@@ -163,7 +163,7 @@
 				{"advice", adviceObject(b.Advice)},
 			}
 		})},
-		field{"blocks", list(x.Blocks, blockObject)},
+		field{"blocks", list(x.Obstacles, blockObject)},
 		field{"omitted", x.OmittedEvents},
 		field{"events", list(x.Events, eventObject)},
 		field{"context", list(x.RelatedEvents, eventObject)},
