--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -69,7 +69,7 @@
 	// RelatedEvents lists the events of the same instances around a request.
 	RelatedEvents []model.Event
 	// LimitHits lists the limits that bound, the most recent first.
-	LimitHits []Bound
+	LimitHits []LimitHit
 	// Obstacles lists what stands in the way now.
 	Obstacles []Block
 }
@@ -85,8 +85,8 @@
 	Maintenance int
 }
 
-// Bound sums up the events in which one limit bound.
-type Bound struct {
+// LimitHit sums up the events in which one limit bound.
+type LimitHit struct {
 	Limit string
 	Kind  model.EventKind
 	Count int
@@ -159,7 +159,7 @@
 		if !ok {
 			i = len(x.LimitHits)
 			at[k] = i
-			x.LimitHits = append(x.LimitHits, Bound{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
+			x.LimitHits = append(x.LimitHits, LimitHit{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
 		}
 		b := &x.LimitHits[i]
 		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
@@ -169,7 +169,7 @@
 		x.OmittedEvents = over
 		x.Events = slices.Clone(x.Events[over:])
 	}
-	slices.SortStableFunc(x.LimitHits, func(a, b Bound) int {
+	slices.SortStableFunc(x.LimitHits, func(a, b LimitHit) int {
 		return cmp.Or(cmp.Compare(b.Last.Wall, a.Last.Wall), cmp.Compare(b.Last.Count, a.Last.Count))
 	})
 }
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -63,7 +63,7 @@
 	assert.Assert(t, x.Found)
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
 	assert.Equal(t, len(x.Events), 3)
-	assert.DeepEqual(t, x.LimitHits, []trail.Bound{{
+	assert.DeepEqual(t, x.LimitHits, []trail.LimitHit{{
 		Limit: "queue full", Kind: model.EventRefused, Count: 2, Detail: "second",
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -79,7 +79,7 @@
 	return "work"
 }
 
-func boundsTable(bounds []trail.Bound) *table {
+func boundsTable(bounds []trail.LimitHit) *table {
 	t := newTable("LIMIT", "EVENT", "COUNT", "FIRST", "LAST", "TO-UNBLOCK", "DETAIL")
 	for _, l := range bounds {
 		t.add(l.Limit, l.Kind, l.Count, timeText(l.First.Wall), timeText(l.Last.Wall), adviceText(l.Advice), l.Detail)
@@ -152,7 +152,7 @@
 				{"maintenance", p.Maintenance},
 			}
 		})},
-		field{"bounds", list(x.LimitHits, func(b trail.Bound) object {
+		field{"bounds", list(x.LimitHits, func(b trail.LimitHit) object {
 			return object{
 				{"limit", b.Limit},
 				{"kind", b.Kind},
