--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -71,7 +71,7 @@
 	// LimitHits lists the limits that bound, the most recent first.
 	LimitHits []LimitHit
 	// Obstacles lists what stands in the way now.
-	Obstacles []Block
+	Obstacles []Obstacle
 }
 
 // PoolState compares what a contract promises in a pool with what is there.
@@ -120,8 +120,8 @@
 	BlockContract BlockKind = "no-contract"
 )
 
-// Block is one obstacle. Empty fields do not apply.
-type Block struct {
+// Obstacle is one obstacle. Empty fields do not apply.
+type Obstacle struct {
 	Kind        BlockKind
 	Instance    model.InstanceID
 	Pool        model.Pool
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -87,7 +87,7 @@
 // release that waits, and against advice to wait for a silent process.
 func TestExplainInstance(t *testing.T) {
 	x := trail.ExplainInstance(objects(), events(), "i2")
-	assert.DeepEqual(t, x.Obstacles, []trail.Block{
+	assert.DeepEqual(t, x.Obstacles, []trail.Obstacle{
 		{
 			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
 			Advice: trail.Advice{Action: trail.ActionWait, Target: "e1"},
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -17,7 +17,7 @@
 	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
-		x.Obstacles = []Block{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
+		x.Obstacles = []Obstacle{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
 	instances := sorted(o.Instances)
@@ -110,7 +110,7 @@
 	if missing <= 0 {
 		return
 	}
-	b := Block{
+	b := Obstacle{
 		Kind: BlockCapacity, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
 		Advice: Advice{ActionWait, string(p.Pool)},
 	}
@@ -126,14 +126,14 @@
 
 // disruption reports whether the customer's limit of unavailable instances is
 // reached by released instances and those in maintenance.
-func disruption(o CurrentState, c model.Contract) (b Block, reached bool) {
+func disruption(o CurrentState, c model.Contract) (b Obstacle, reached bool) {
 	out := 0
 	for _, i := range o.Instances {
 		if holds(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
 			out++
 		}
 	}
-	b = Block{
+	b = Obstacle{
 		Kind: BlockBudget, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
 		Advice: adviceFor("max-unavailable"),
 	}
@@ -158,33 +158,33 @@
 }
 
 // instanceBlocks returns what keeps an instance from serving or moving on.
-func instanceBlocks(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Block {
-	var blocks []Block
+func instanceBlocks(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
+	var blocks []Obstacle
 	switch i.Phase {
 	case model.PhaseReleasing:
 		for _, p := range o.Processes {
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
-				blocks = append(blocks, Block{
+				blocks = append(blocks, Obstacle{
 					Kind: BlockConfirm, Instance: i.ID, Pool: i.Pool, Process: p.Name,
 					Since: i.Since, Advice: confirmAdvice(o, p),
 				})
 			}
 		}
 	case model.PhaseMaintenance:
-		blocks = append(blocks, Block{
+		blocks = append(blocks, Obstacle{
 			Kind: BlockReturn, Instance: i.ID, Pool: i.Pool, Since: i.Since,
 			Advice: instanceAdvice(ActionPlatform, i.ID),
 		})
 	case model.PhaseServing:
 		e, ok := latest[i.ID]
 		if ok && e.Kind == model.EventEjected {
-			blocks = append(blocks, Block{
+			blocks = append(blocks, Obstacle{
 				Kind: BlockEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepair, i.ID),
 			})
 		}
 		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
-			blocks = append(blocks, Block{
+			blocks = append(blocks, Obstacle{
 				Kind: BlockGone, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
 			})
@@ -195,16 +195,16 @@
 
 // waveBlocks returns the declared maintenance that has not reached a serving
 // instance, with the customers whose limits hold it up.
-func waveBlocks(o CurrentState, i model.Instance) []Block {
+func waveBlocks(o CurrentState, i model.Instance) []Obstacle {
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
-	var blocks []Block
+	var blocks []Obstacle
 	for _, m := range sorted(o.Maintenance) {
 		if !m.Selector.Matches(i) || i.Maintained >= m.Declared {
 			continue
 		}
-		blocks = append(blocks, Block{
+		blocks = append(blocks, Obstacle{
 			Kind: BlockWave, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
 			Since: m.Declared, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
 		})
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -87,7 +87,7 @@
 	return t
 }
 
-func blocksTable(blocks []trail.Block) *table {
+func blocksTable(blocks []trail.Obstacle) *table {
 	t := newTable("OBSTACLE", "CONCERNS", "SINCE", "TO-UNBLOCK")
 	for _, k := range blocks {
 		since := "-"
@@ -100,7 +100,7 @@
 }
 
 // concerns lists the objects of an obstacle.
-func concerns(k trail.Block) string {
+func concerns(k trail.Obstacle) string {
 	var parts []string
 	add := func(name, value string) {
 		if value != "" {
@@ -170,7 +170,7 @@
 	)
 }
 
-func blockObject(k trail.Block) object {
+func blockObject(k trail.Obstacle) object {
 	return object{
 		{"kind", k.Kind},
 		{"instance", k.Instance},
