--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -97,32 +97,32 @@
 	Advice Advice
 }
 
-// BlockKind tells the obstacles apart.
-type BlockKind string
+// ObstacleKind tells the obstacles apart.
+type ObstacleKind string
 
 // The kinds of obstacle.
 const (
 	// BlockConfirm: an entry process has not confirmed a release.
-	BlockConfirm BlockKind = "release-not-confirmed"
+	BlockConfirm ObstacleKind = "release-not-confirmed"
 	// BlockReturn: the instance has not come back from the platform.
-	BlockReturn BlockKind = "not-returned"
+	BlockReturn ObstacleKind = "not-returned"
 	// BlockBudget: a customer's limit of unavailable instances is reached.
-	BlockBudget BlockKind = "disruption-limit"
+	BlockBudget ObstacleKind = "disruption-limit"
 	// BlockWave: declared maintenance has not reached the instance.
-	BlockWave BlockKind = "maintenance-due"
+	BlockWave ObstacleKind = "maintenance-due"
 	// BlockGone: the instance was last reported as gone.
-	BlockGone BlockKind = "not-announced"
+	BlockGone ObstacleKind = "not-announced"
 	// BlockEjected: the instance was last ejected for failures.
-	BlockEjected BlockKind = "ejected"
+	BlockEjected ObstacleKind = "ejected"
 	// BlockCapacity: fewer instances serve than are promised.
-	BlockCapacity BlockKind = "capacity-missing"
+	BlockCapacity ObstacleKind = "capacity-missing"
 	// BlockContract: there is no contract.
-	BlockContract BlockKind = "no-contract"
+	BlockContract ObstacleKind = "no-contract"
 )
 
 // Obstacle is one obstacle. Empty fields do not apply.
 type Obstacle struct {
-	Kind        BlockKind
+	Kind        ObstacleKind
 	Instance    model.InstanceID
 	Pool        model.Pool
 	Process     model.Process
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -69,11 +69,11 @@
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
 	}})
 	assert.Equal(t, x.Obstacles[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
-	var kinds []trail.BlockKind
+	var kinds []trail.ObstacleKind
 	for _, b := range x.Obstacles {
 		kinds = append(kinds, b.Kind)
 	}
-	assert.DeepEqual(t, kinds, []trail.BlockKind{
+	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
 		trail.BlockCapacity, trail.BlockBudget, trail.BlockConfirm, trail.BlockConfirm,
 		trail.BlockReturn, trail.BlockEjected,
 	})
