--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -102,8 +102,8 @@
 
 // The kinds of obstacle.
 const (
-	// BlockConfirm: an entry process has not confirmed a release.
-	BlockConfirm ObstacleKind = "release-not-confirmed"
+	// ObstacleReleaseUnconfirmed: an entry process has not confirmed a release.
+	ObstacleReleaseUnconfirmed ObstacleKind = "release-not-confirmed"
 	// BlockReturn: the instance has not come back from the platform.
 	BlockReturn ObstacleKind = "not-returned"
 	// BlockBudget: a customer's limit of unavailable instances is reached.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -74,7 +74,7 @@
 		kinds = append(kinds, b.Kind)
 	}
 	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
-		trail.BlockCapacity, trail.BlockBudget, trail.BlockConfirm, trail.BlockConfirm,
+		trail.BlockCapacity, trail.BlockBudget, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
 		trail.BlockReturn, trail.BlockEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
@@ -89,11 +89,11 @@
 	x := trail.ExplainInstance(objects(), events(), "i2")
 	assert.DeepEqual(t, x.Obstacles, []trail.Obstacle{
 		{
-			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
+			Kind: trail.ObstacleReleaseUnconfirmed, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
 			Advice: trail.Advice{Action: trail.ActionWait, Target: "e1"},
 		},
 		{
-			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e2", Since: 90_000,
+			Kind: trail.ObstacleReleaseUnconfirmed, Instance: "i2", Pool: "log", Process: "e2", Since: 90_000,
 			Advice: trail.Advice{Action: trail.ActionProcess, Target: "e2"},
 		},
 	})
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -165,7 +165,7 @@
 		for _, p := range o.Processes {
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
 				blocks = append(blocks, Obstacle{
-					Kind: BlockConfirm, Instance: i.ID, Pool: i.Pool, Process: p.Name,
+					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
 					Since: i.Since, Advice: confirmAdvice(o, p),
 				})
 			}
