--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -104,8 +104,8 @@
 const (
 	// ObstacleReleaseUnconfirmed: an entry process has not confirmed a release.
 	ObstacleReleaseUnconfirmed ObstacleKind = "release-not-confirmed"
-	// BlockReturn: the instance has not come back from the platform.
-	BlockReturn ObstacleKind = "not-returned"
+	// ObstacleNotReturned: the instance has not come back from the platform.
+	ObstacleNotReturned ObstacleKind = "not-returned"
 	// BlockBudget: a customer's limit of unavailable instances is reached.
 	BlockBudget ObstacleKind = "disruption-limit"
 	// BlockWave: declared maintenance has not reached the instance.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -75,7 +75,7 @@
 	}
 	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
 		trail.BlockCapacity, trail.BlockBudget, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
-		trail.BlockReturn, trail.BlockEjected,
+		trail.ObstacleNotReturned, trail.BlockEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
 	assert.Assert(t, none.Found, "events name the customer")
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -172,7 +172,7 @@
 		}
 	case model.PhaseMaintenance:
 		blocks = append(blocks, Obstacle{
-			Kind: BlockReturn, Instance: i.ID, Pool: i.Pool, Since: i.Since,
+			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.Since,
 			Advice: instanceAdvice(ActionPlatform, i.ID),
 		})
 	case model.PhaseServing:
