--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -106,8 +106,8 @@
 	ObstacleReleaseUnconfirmed ObstacleKind = "release-not-confirmed"
 	// ObstacleNotReturned: the instance has not come back from the platform.
 	ObstacleNotReturned ObstacleKind = "not-returned"
-	// BlockBudget: a customer's limit of unavailable instances is reached.
-	BlockBudget ObstacleKind = "disruption-limit"
+	// ObstacleDisruptionLimit: a customer's limit of unavailable instances is reached.
+	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
 	// BlockWave: declared maintenance has not reached the instance.
 	BlockWave ObstacleKind = "maintenance-due"
 	// BlockGone: the instance was last reported as gone.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -74,7 +74,7 @@
 		kinds = append(kinds, b.Kind)
 	}
 	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
-		trail.BlockCapacity, trail.BlockBudget, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
+		trail.BlockCapacity, trail.ObstacleDisruptionLimit, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
 		trail.ObstacleNotReturned, trail.BlockEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
@@ -100,7 +100,7 @@
 	due := trail.ExplainInstance(objects(), events(), "i1").Obstacles
 	assert.Equal(t, len(due), 2)
 	assert.Equal(t, due[0].Maintenance, "kernel")
-	assert.Equal(t, due[1].Kind, trail.BlockBudget)
+	assert.Equal(t, due[1].Kind, trail.ObstacleDisruptionLimit)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
 	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Obstacles), 0, "maintained since the declaration")
 	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Found)
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -134,7 +134,7 @@
 		}
 	}
 	b = Obstacle{
-		Kind: BlockBudget, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
+		Kind: ObstacleDisruptionLimit, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
 		Advice: adviceFor("max-unavailable"),
 	}
 	if out > 0 {
