--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -108,8 +108,8 @@
 	ObstacleNotReturned ObstacleKind = "not-returned"
 	// ObstacleDisruptionLimit: a customer's limit of unavailable instances is reached.
 	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
-	// BlockWave: declared maintenance has not reached the instance.
-	BlockWave ObstacleKind = "maintenance-due"
+	// ObstacleMaintenanceDue: declared maintenance has not reached the instance.
+	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
 	// BlockGone: the instance was last reported as gone.
 	BlockGone ObstacleKind = "not-announced"
 	// BlockEjected: the instance was last ejected for failures.
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		blocks = append(blocks, Obstacle{
-			Kind: BlockWave, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
+			Kind: ObstacleMaintenanceDue, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
 			Since: m.Declared, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
 		})
 	}
