--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -110,8 +110,8 @@
 	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
 	// ObstacleMaintenanceDue: declared maintenance has not reached the instance.
 	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
-	// BlockGone: the instance was last reported as gone.
-	BlockGone ObstacleKind = "not-announced"
+	// ObstacleNotAnnounced: the instance was last reported as gone.
+	ObstacleNotAnnounced ObstacleKind = "not-announced"
 	// BlockEjected: the instance was last ejected for failures.
 	BlockEjected ObstacleKind = "ejected"
 	// BlockCapacity: fewer instances serve than are promised.
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -185,7 +185,7 @@
 		}
 		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
 			blocks = append(blocks, Obstacle{
-				Kind: BlockGone, Instance: i.ID, Pool: i.Pool, Process: e.Process,
+				Kind: ObstacleNotAnnounced, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
 			})
 		}
