--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -112,8 +112,8 @@
 	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
 	// ObstacleNotAnnounced: the instance was last reported as gone.
 	ObstacleNotAnnounced ObstacleKind = "not-announced"
-	// BlockEjected: the instance was last ejected for failures.
-	BlockEjected ObstacleKind = "ejected"
+	// ObstacleEjected: the instance was last ejected for failures.
+	ObstacleEjected ObstacleKind = "ejected"
 	// BlockCapacity: fewer instances serve than are promised.
 	BlockCapacity ObstacleKind = "capacity-missing"
 	// BlockContract: there is no contract.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -75,7 +75,7 @@
 	}
 	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
 		trail.BlockCapacity, trail.ObstacleDisruptionLimit, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
-		trail.ObstacleNotReturned, trail.BlockEjected,
+		trail.ObstacleNotReturned, trail.ObstacleEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
 	assert.Assert(t, none.Found, "events name the customer")
@@ -113,7 +113,7 @@
 	assert.Equal(t, len(x.Events), 1)
 	assert.Equal(t, len(x.RelatedEvents), 1)
 	assert.Equal(t, x.RelatedEvents[0].Kind, model.EventEjected)
-	assert.Equal(t, x.Obstacles[0].Kind, trail.BlockEjected)
+	assert.Equal(t, x.Obstacles[0].Kind, trail.ObstacleEjected)
 	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
 }
 
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -179,7 +179,7 @@
 		e, ok := latest[i.ID]
 		if ok && e.Kind == model.EventEjected {
 			blocks = append(blocks, Obstacle{
-				Kind: BlockEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
+				Kind: ObstacleEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepair, i.ID),
 			})
 		}
