--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -114,8 +114,8 @@
 	ObstacleNotAnnounced ObstacleKind = "not-announced"
 	// ObstacleEjected: the instance was last ejected for failures.
 	ObstacleEjected ObstacleKind = "ejected"
-	// BlockCapacity: fewer instances serve than are promised.
-	BlockCapacity ObstacleKind = "capacity-missing"
+	// ObstacleCapacityMissing: fewer instances serve than are promised.
+	ObstacleCapacityMissing ObstacleKind = "capacity-missing"
 	// BlockContract: there is no contract.
 	BlockContract ObstacleKind = "no-contract"
 )
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -74,7 +74,7 @@
 		kinds = append(kinds, b.Kind)
 	}
 	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
-		trail.BlockCapacity, trail.ObstacleDisruptionLimit, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
+		trail.ObstacleCapacityMissing, trail.ObstacleDisruptionLimit, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
 		trail.ObstacleNotReturned, trail.ObstacleEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -111,7 +111,7 @@
 		return
 	}
 	b := Obstacle{
-		Kind: BlockCapacity, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
+		Kind: ObstacleCapacityMissing, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
 		Advice: Advice{ActionWait, string(p.Pool)},
 	}
 	if missing > returning {
