--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -116,8 +116,8 @@
 	ObstacleEjected ObstacleKind = "ejected"
 	// ObstacleCapacityMissing: fewer instances serve than are promised.
 	ObstacleCapacityMissing ObstacleKind = "capacity-missing"
-	// BlockContract: there is no contract.
-	BlockContract ObstacleKind = "no-contract"
+	// ObstacleNoContract: there is no contract.
+	ObstacleNoContract ObstacleKind = "no-contract"
 )
 
 // Obstacle is one obstacle. Empty fields do not apply.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -79,7 +79,7 @@
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
 	assert.Assert(t, none.Found, "events name the customer")
-	assert.Equal(t, none.Obstacles[0].Kind, trail.BlockContract)
+	assert.Equal(t, none.Obstacles[0].Kind, trail.ObstacleNoContract)
 	assert.Equal(t, none.LimitHits[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
 }
 
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -17,7 +17,7 @@
 	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
-		x.Obstacles = []Obstacle{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
+		x.Obstacles = []Obstacle{{Kind: ObstacleNoContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
 	instances := sorted(o.Instances)
