--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -10,7 +10,7 @@
 	ActionRaiseLimit    Action = "raise-limit"
 	ActionApplyContract Action = "apply-contract"
 	ActionAddPool       Action = "add-pool-to-contract"
-	ActionMoreTime      Action = "allow-more-time"
+	ActionAllowMoreTime Action = "allow-more-time"
 	ActionAddInstances  Action = "add-instances"
 	ActionStartUpstream Action = "start-upstream"
 	ActionRepair        Action = "repair-upstream"
@@ -46,10 +46,10 @@
 	"pool not in contract":   {ActionAddPool, "contract"},
 	"no share":               {ActionRaiseLimit, "concurrency"},
 	"queue full":             {ActionRaiseLimit, "queue"},
-	"deadline cannot be met": {ActionMoreTime, "timeout"},
+	"deadline cannot be met": {ActionAllowMoreTime, "timeout"},
 	"retry budget spent":     {ActionRaiseLimit, "retry-percent"},
 
-	"deadline": {ActionMoreTime, "timeout"},
+	"deadline": {ActionAllowMoreTime, "timeout"},
 	"capacity": {ActionAddInstances, "pool"},
 	"lease":    {ActionStartUpstream, "instance"},
 	"failures": {ActionRepair, "instance"},
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -15,7 +15,7 @@
 	trail.ActionRaiseLimit:    "raise %s in the contract",
 	trail.ActionApplyContract: "apply a contract: %s",
 	trail.ActionAddPool:       "add the pool to the %s",
-	trail.ActionMoreTime:      "allow a longer %s",
+	trail.ActionAllowMoreTime: "allow a longer %s",
 	trail.ActionAddInstances:  "add instances to %s",
 	trail.ActionStartUpstream: "start the upstream of %s",
 	trail.ActionRepair:        "repair the upstream of %s",
