--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -7,17 +7,17 @@
 
 // The actions.
 const (
-	ActionRaiseLimit    Action = "raise-limit"
-	ActionApplyContract Action = "apply-contract"
-	ActionAddPool       Action = "add-pool-to-contract"
-	ActionAllowMoreTime Action = "allow-more-time"
-	ActionAddInstances  Action = "add-instances"
-	ActionStartUpstream Action = "start-upstream"
-	ActionRepair        Action = "repair-upstream"
-	ActionProcess       Action = "restart-process-or-declare-lost"
-	ActionPlatform      Action = "check-platform"
-	ActionWait          Action = "wait"
-	ActionInspect       Action = "inspect"
+	ActionRaiseLimit     Action = "raise-limit"
+	ActionApplyContract  Action = "apply-contract"
+	ActionAddPool        Action = "add-pool-to-contract"
+	ActionAllowMoreTime  Action = "allow-more-time"
+	ActionAddInstances   Action = "add-instances"
+	ActionStartUpstream  Action = "start-upstream"
+	ActionRepairUpstream Action = "repair-upstream"
+	ActionProcess        Action = "restart-process-or-declare-lost"
+	ActionPlatform       Action = "check-platform"
+	ActionWait           Action = "wait"
+	ActionInspect        Action = "inspect"
 )
 
 // Advice is an action and the name of what it acts on: a limit, a pool, a
@@ -52,7 +52,7 @@
 	"deadline": {ActionAllowMoreTime, "timeout"},
 	"capacity": {ActionAddInstances, "pool"},
 	"lease":    {ActionStartUpstream, "instance"},
-	"failures": {ActionRepair, "instance"},
+	"failures": {ActionRepairUpstream, "instance"},
 	"drained":  {ActionProcess, "process"},
 }
 
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -180,7 +180,7 @@
 		if ok && e.Kind == model.EventEjected {
 			blocks = append(blocks, Obstacle{
 				Kind: ObstacleEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
-				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepair, i.ID),
+				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepairUpstream, i.ID),
 			})
 		}
 		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -12,17 +12,17 @@
 // adviceTexts says what each action means for the operator; the target is
 // filled in.
 var adviceTexts = map[trail.Action]string{
-	trail.ActionRaiseLimit:    "raise %s in the contract",
-	trail.ActionApplyContract: "apply a contract: %s",
-	trail.ActionAddPool:       "add the pool to the %s",
-	trail.ActionAllowMoreTime: "allow a longer %s",
-	trail.ActionAddInstances:  "add instances to %s",
-	trail.ActionStartUpstream: "start the upstream of %s",
-	trail.ActionRepair:        "repair the upstream of %s",
-	trail.ActionProcess:       "restart %s or declare it lost",
-	trail.ActionPlatform:      "check the platform for %s",
-	trail.ActionWait:          "wait for %s",
-	trail.ActionInspect:       "look at the limit %s",
+	trail.ActionRaiseLimit:     "raise %s in the contract",
+	trail.ActionApplyContract:  "apply a contract: %s",
+	trail.ActionAddPool:        "add the pool to the %s",
+	trail.ActionAllowMoreTime:  "allow a longer %s",
+	trail.ActionAddInstances:   "add instances to %s",
+	trail.ActionStartUpstream:  "start the upstream of %s",
+	trail.ActionRepairUpstream: "repair the upstream of %s",
+	trail.ActionProcess:        "restart %s or declare it lost",
+	trail.ActionPlatform:       "check the platform for %s",
+	trail.ActionWait:           "wait for %s",
+	trail.ActionInspect:        "look at the limit %s",
 }
 
 func adviceText(a trail.Advice) string {
