--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -14,7 +14,7 @@
 	ActionAddInstances   Action = "add-instances"
 	ActionStartUpstream  Action = "start-upstream"
 	ActionRepairUpstream Action = "repair-upstream"
-	ActionProcess        Action = "restart-process-or-declare-lost"
+	ActionRestartProcess Action = "restart-process-or-declare-lost"
 	ActionPlatform       Action = "check-platform"
 	ActionWait           Action = "wait"
 	ActionInspect        Action = "inspect"
@@ -53,7 +53,7 @@
 	"capacity": {ActionAddInstances, "pool"},
 	"lease":    {ActionStartUpstream, "instance"},
 	"failures": {ActionRepairUpstream, "instance"},
-	"drained":  {ActionProcess, "process"},
+	"drained":  {ActionRestartProcess, "process"},
 }
 
 // adviceFor returns what would unblock a limit. A limit that is not in the
@@ -69,7 +69,7 @@
 // that is silent.
 func confirmAdvice(o CurrentState, p Process) Advice {
 	if p.LastReport == 0 || o.Now-p.LastReport > SilentAfter {
-		return Advice{ActionProcess, string(p.Name)}
+		return Advice{ActionRestartProcess, string(p.Name)}
 	}
 	return Advice{ActionWait, string(p.Name)}
 }
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -94,7 +94,7 @@
 		},
 		{
 			Kind: trail.ObstacleReleaseUnconfirmed, Instance: "i2", Pool: "log", Process: "e2", Since: 90_000,
-			Advice: trail.Advice{Action: trail.ActionProcess, Target: "e2"},
+			Advice: trail.Advice{Action: trail.ActionRestartProcess, Target: "e2"},
 		},
 	})
 	due := trail.ExplainInstance(objects(), events(), "i1").Obstacles
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -19,7 +19,7 @@
 	trail.ActionAddInstances:   "add instances to %s",
 	trail.ActionStartUpstream:  "start the upstream of %s",
 	trail.ActionRepairUpstream: "repair the upstream of %s",
-	trail.ActionProcess:        "restart %s or declare it lost",
+	trail.ActionRestartProcess: "restart %s or declare it lost",
 	trail.ActionPlatform:       "check the platform for %s",
 	trail.ActionWait:           "wait for %s",
 	trail.ActionInspect:        "look at the limit %s",
