--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -15,7 +15,7 @@
 	ActionStartUpstream  Action = "start-upstream"
 	ActionRepairUpstream Action = "repair-upstream"
 	ActionRestartProcess Action = "restart-process-or-declare-lost"
-	ActionPlatform       Action = "check-platform"
+	ActionCheckPlatform  Action = "check-platform"
 	ActionWait           Action = "wait"
 	ActionInspect        Action = "inspect"
 )
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -173,7 +173,7 @@
 	case model.PhaseMaintenance:
 		blocks = append(blocks, Obstacle{
 			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.Since,
-			Advice: instanceAdvice(ActionPlatform, i.ID),
+			Advice: instanceAdvice(ActionCheckPlatform, i.ID),
 		})
 	case model.PhaseServing:
 		e, ok := latest[i.ID]
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -20,7 +20,7 @@
 	trail.ActionStartUpstream:  "start the upstream of %s",
 	trail.ActionRepairUpstream: "repair the upstream of %s",
 	trail.ActionRestartProcess: "restart %s or declare it lost",
-	trail.ActionPlatform:       "check the platform for %s",
+	trail.ActionCheckPlatform:  "check the platform for %s",
 	trail.ActionWait:           "wait for %s",
 	trail.ActionInspect:        "look at the limit %s",
 }
