--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// MaxHappened bounds the events of an explanation; the newest are kept.
-	MaxHappened = 200
+	// MaxEvents bounds the events of an explanation; the newest are kept.
+	MaxEvents = 200
 	// SilentAfter is the time without a report after which a process is taken
 	// for silent; processes report once in a second.
 	SilentAfter = 3 * clock.Second
@@ -165,7 +165,7 @@
 		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
 	}
 	x.Found = x.Found || len(x.Events) > 0
-	if over := len(x.Events) - MaxHappened; over > 0 {
+	if over := len(x.Events) - MaxEvents; over > 0 {
 		x.OmittedEvents = over
 		x.Events = slices.Clone(x.Events[over:])
 	}
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -121,11 +121,11 @@
 // length of the time line.
 func TestExplainIsBounded(t *testing.T) {
 	var many []model.Event
-	for i := range 3 * trail.MaxHappened {
+	for i := range 3 * trail.MaxEvents {
 		many = append(many, model.Event{Stamp: model.Stamp{Wall: clock.Millis(i)}, Customer: "pomar", Seq: uint64(i)})
 	}
 	x := trail.ExplainCustomer(objects(), many, "pomar")
-	assert.Equal(t, len(x.Events), trail.MaxHappened)
-	assert.Equal(t, x.OmittedEvents, 2*trail.MaxHappened)
-	assert.Equal(t, x.Events[0].Seq, uint64(2*trail.MaxHappened))
+	assert.Equal(t, len(x.Events), trail.MaxEvents)
+	assert.Equal(t, x.OmittedEvents, 2*trail.MaxEvents)
+	assert.Equal(t, x.Events[0].Seq, uint64(2*trail.MaxEvents))
 }
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -72,7 +72,7 @@
 			x.RelatedEvents = append(x.RelatedEvents, e)
 		}
 	}
-	if over := len(x.RelatedEvents) - MaxHappened; over > 0 {
+	if over := len(x.RelatedEvents) - MaxEvents; over > 0 {
 		x.RelatedEvents = slices.Clone(x.RelatedEvents[over:])
 	}
 	latest := latestUpstreams(events)
