--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -68,7 +68,7 @@
 // confirmAdvice tells a process that still has requests in flight from one
 // that is silent.
 func confirmAdvice(o CurrentState, p Process) Advice {
-	if p.LastReport == 0 || o.Now-p.LastReport > SilentAfter {
+	if p.LastReport == 0 || o.Now-p.LastReport > ReportTimeout {
 		return Advice{ActionRestartProcess, string(p.Name)}
 	}
 	return Advice{ActionWait, string(p.Name)}
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -11,9 +11,9 @@
 const (
 	// MaxEvents bounds the events of an explanation; the newest are kept.
 	MaxEvents = 200
-	// SilentAfter is the time without a report after which a process is taken
+	// ReportTimeout is the time without a report after which a process is taken
 	// for silent; processes report once in a second.
-	SilentAfter = 3 * clock.Second
+	ReportTimeout = 3 * clock.Second
 )
 
 // Subject is the kind of object that is explained.
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -176,7 +176,7 @@
 }
 
 func silent(s Status, p ProcessStatus) bool {
-	return p.Seen == 0 || s.Now-p.Seen > trail.SilentAfter
+	return p.Seen == 0 || s.Now-p.Seen > trail.ReportTimeout
 }
 
 // Overview writes the status: the control member asked, and which process
