--- a/core/state/trail/hybrid.go
+++ b/core/state/trail/hybrid.go
@@ -7,10 +7,10 @@
 	"camphorridge/core/state/model"
 )
 
-// MaxAhead bounds how far a stamp from another process may be ahead of the
+// MaxClockOffset bounds how far a stamp from another process may be ahead of the
 // own clock. Without the bound, one machine with a wrong clock would move the
 // stamps of all processes into the future for good.
-const MaxAhead = clock.Minute
+const MaxClockOffset = clock.Minute
 
 // Hybrid is a hybrid logical clock: it follows the machine's clock and never
 // falls behind a stamp that it has issued or observed. It is not safe for use
@@ -39,7 +39,7 @@
 // of this process come after it. A stamp more than MaxAhead in the future is
 // counted and ignored; Observe then returns false.
 func (h *Hybrid) Observe(s model.Stamp, now clock.Millis) bool {
-	if s.Wall > now+MaxAhead {
+	if s.Wall > now+MaxClockOffset {
 		h.Rejected++
 		return false
 	}
--- a/core/state/trail/trail_test.go
+++ b/core/state/trail/trail_test.go
@@ -21,7 +21,7 @@
 		hybrids := make([]trail.Hybrid, n)
 		clocks := make([]clock.Millis, n)
 		for i := range clocks {
-			clocks[i] = 1_000_000 + clock.Millis(rapid.IntRange(0, int(trail.MaxAhead/4)).Draw(t, "skew"))
+			clocks[i] = 1_000_000 + clock.Millis(rapid.IntRange(0, int(trail.MaxClockOffset/4)).Draw(t, "skew"))
 		}
 		lists := make([][]model.Event, n)
 		causes := map[model.Event]model.Event{}
@@ -58,7 +58,7 @@
 // stamps of others, and against a counter that wraps and goes back.
 func TestHybridBounds(t *testing.T) {
 	var h trail.Hybrid
-	assert.Assert(t, !h.Observe(model.Stamp{Wall: 1000 + trail.MaxAhead + 1}, 1000))
+	assert.Assert(t, !h.Observe(model.Stamp{Wall: 1000 + trail.MaxClockOffset + 1}, 1000))
 	assert.Equal(t, h.Rejected, int64(1))
 	assert.Equal(t, h.Next(1000), model.Stamp{Wall: 1000})
 	full := model.Stamp{Wall: 1000, Count: math.MaxUint32}
