--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -27,7 +27,7 @@
 	// mu guards stamping, so that events enter the ring in the order of their
 	// stamps.
 	mu     sync.Mutex
-	hybrid trail.Hybrid
+	hybrid trail.HybridClock
 	seq    uint64
 	// closed is set once the duty no longer reads the ring.
 	closed bool
--- a/core/state/trail/hybrid.go
+++ b/core/state/trail/hybrid.go
@@ -12,10 +12,10 @@
 // stamps of all processes into the future for good.
 const MaxClockOffset = clock.Minute
 
-// Hybrid is a hybrid logical clock: it follows the machine's clock and never
+// HybridClock is a hybrid logical clock: it follows the machine's clock and never
 // falls behind a stamp that it has issued or observed. It is not safe for use
 // by several goroutines.
-type Hybrid struct {
+type HybridClock struct {
 	// Last is the largest stamp issued or observed; it never goes back.
 	Last model.Stamp
 	// Rejected counts the observed stamps that were too far ahead.
@@ -23,7 +23,7 @@
 }
 
 // Next returns a stamp larger than all stamps issued or observed before.
-func (h *Hybrid) Next(now clock.Millis) model.Stamp {
+func (h *HybridClock) Next(now clock.Millis) model.Stamp {
 	switch {
 	case now > h.Last.Wall:
 		h.Last = model.Stamp{Wall: now}
@@ -38,7 +38,7 @@
 // Observe takes note of a stamp that a message carried, so that later events
 // of this process come after it. A stamp more than MaxAhead in the future is
 // counted and ignored; Observe then returns false.
-func (h *Hybrid) Observe(s model.Stamp, now clock.Millis) bool {
+func (h *HybridClock) Observe(s model.Stamp, now clock.Millis) bool {
 	if s.Wall > now+MaxClockOffset {
 		h.Rejected++
 		return false
--- a/core/state/trail/trail_test.go
+++ b/core/state/trail/trail_test.go
@@ -18,7 +18,7 @@
 func TestMergeIsCausal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 5).Draw(t, "processes")
-		hybrids := make([]trail.Hybrid, n)
+		hybrids := make([]trail.HybridClock, n)
 		clocks := make([]clock.Millis, n)
 		for i := range clocks {
 			clocks[i] = 1_000_000 + clock.Millis(rapid.IntRange(0, int(trail.MaxClockOffset/4)).Draw(t, "skew"))
@@ -57,7 +57,7 @@
 // TestHybridBounds guards against a machine with a wrong clock that moves the
 // stamps of others, and against a counter that wraps and goes back.
 func TestHybridBounds(t *testing.T) {
-	var h trail.Hybrid
+	var h trail.HybridClock
 	assert.Assert(t, !h.Observe(model.Stamp{Wall: 1000 + trail.MaxClockOffset + 1}, 1000))
 	assert.Equal(t, h.Rejected, int64(1))
 	assert.Equal(t, h.Next(1000), model.Stamp{Wall: 1000})
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -24,7 +24,7 @@
 // after what it read.
 type stamps struct {
 	clock  clock.Clock
-	hybrid trail.Hybrid
+	hybrid trail.HybridClock
 }
 
 func (s *stamps) Next() model.Stamp { return s.hybrid.Next(s.clock.Now()) }
