--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -11,9 +11,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Board holds the tasks and workers and decides what starts where. One duty
+// Placer holds the tasks and workers and decides what starts where. One duty
 // owns it.
-type Board[F Fit, S Sizer, J Judge] struct {
+type Placer[F Fit, S Sizer, J Judge] struct {
 	fit     F
 	sizer   S
 	judge   J
@@ -103,10 +103,10 @@
 }
 
 // NewBoard returns a board without tasks and workers.
-func NewBoard[F Fit, S Sizer, J Judge](fit F, sizer S, judge J, set Settings) *Board[F, S, J] {
+func NewBoard[F Fit, S Sizer, J Judge](fit F, sizer S, judge J, set Settings) *Placer[F, S, J] {
 	set.FailMost, set.Lookahead = max(set.FailMost, 1), max(set.Lookahead, 1)
 	set.StopsPerPass, set.StopPauseMillis = max(set.StopsPerPass, 1), max(set.StopPauseMillis, 1)
-	return &Board[F, S, J]{
+	return &Placer[F, S, J]{
 		fit: fit, sizer: sizer, judge: judge, set: set,
 		tasks: map[TaskID]*task{}, workers: map[WorkerID]*worker{}, teams: map[model.Customer]*team{},
 		classes: map[Class]*Record{}, free: room{at: map[WorkerID]int{}}, soft: room{at: map[WorkerID]int{}},
@@ -119,13 +119,13 @@
 // it sent may still reach workers until the lease that they were sent under
 // has run out; nothing is started until then. What workers report to run in
 // the meantime has to be passed to Adopt, and what is left to Submit.
-func (b *Board[F, S, J]) TakeOver(term int, now clock.Millis) {
+func (b *Placer[F, S, J]) TakeOver(term int, now clock.Millis) {
 	b.term, b.quiet = term, now+b.set.LeaseMillis+b.set.SkewMillis
 	b.due.Push(due{at: b.quiet})
 }
 
 // SetWorker tells the board a worker and its size.
-func (b *Board[F, S, J]) SetWorker(w Worker) {
+func (b *Placer[F, S, J]) SetWorker(w Worker) {
 	held := b.workers[w.ID]
 	if held == nil {
 		held = &worker{tasks: map[TaskID]*task{}}
@@ -143,7 +143,7 @@
 }
 
 // SetContract tells the board a team's quota and disruption budget.
-func (b *Board[F, S, J]) SetContract(c model.Contract) {
+func (b *Placer[F, S, J]) SetContract(c model.Contract) {
 	t := b.teams[c.Customer]
 	if t == nil {
 		t = &team{}
@@ -163,7 +163,7 @@
 // should run and does not was lost on the way, or its end was. That is certain
 // once the report was made after the end of the lease that the start was sent
 // under, because the worker refuses a start that comes later.
-func (b *Board[F, S, J]) Heard(id WorkerID, lease clock.Millis, runs []Run) {
+func (b *Placer[F, S, J]) Heard(id WorkerID, lease clock.Millis, runs []Run) {
 	w := b.workers[id]
 	if w == nil {
 		return
@@ -181,7 +181,7 @@
 
 // Submit takes a task, or refuses at once what can never run: the error is of
 // KindImpossible, KindQuota, KindTeam or KindKnown and names the figures.
-func (b *Board[F, S, J]) Submit(t Task) error {
+func (b *Placer[F, S, J]) Submit(t Task) error {
 	fail := func(kind Kind, format string, args ...any) error {
 		return &Error{Op: "submit task " + string(t.ID), Kind: kind, Err: fmt.Errorf(format, args...)}
 	}
@@ -207,7 +207,7 @@
 }
 
 // raw is what the sizer expects a task to use.
-func (b *Board[F, S, J]) raw(t Task) Size {
+func (b *Placer[F, S, J]) raw(t Task) Size {
 	s := b.sizer.Estimate(Class{t.Team, t.Class}, t.Declared)
 	return larger(s, Size{MilliCores: 1, MemoryMiB: 1})
 }
@@ -215,11 +215,11 @@
 // estimate is what is reserved for a task that was accepted: no more than its
 // team's quota and the largest worker, to which the platform confines it. A
 // size that is learnt later must not make accepted work impossible.
-func (b *Board[F, S, J]) estimate(t Task) Size {
+func (b *Placer[F, S, J]) estimate(t Task) Size {
 	return smaller(b.raw(t), smaller(b.teams[t.Team].contract.Quota, b.top))
 }
 
-func (b *Board[F, S, J]) anyFits(need Size) bool {
+func (b *Placer[F, S, J]) anyFits(need Size) bool {
 	for _, w := range b.workers {
 		if !w.Gone && need.Fits(w.Size) {
 			return true
@@ -230,7 +230,7 @@
 
 // Cancel ends tasks: waiting ones at once, running ones by a stop that is part
 // of one of the next passes. Unknown names are ignored.
-func (b *Board[F, S, J]) Cancel(ids ...TaskID) {
+func (b *Placer[F, S, J]) Cancel(ids ...TaskID) {
 	for _, id := range ids {
 		t := b.tasks[id]
 		if t == nil || t.cancelled || t.phase == PhaseOver {
@@ -247,7 +247,7 @@
 
 // order tells a running task to end. It is asked again until its end is
 // reported or its worker's lease runs out.
-func (b *Board[F, S, J]) order(t *task, kind ActionKind, reason string) {
+func (b *Placer[F, S, J]) order(t *task, kind ActionKind, reason string) {
 	t.phase = PhaseEnding
 	b.reindex(t.worker)
 	t.asked = Action{Kind: kind, Worker: t.worker.ID, Task: t.ID, Attempt: t.attempt, Reason: reason}
@@ -256,7 +256,7 @@
 
 // Report takes a running task's use. Reports lag: those of an earlier attempt
 // still teach the size of the class.
-func (b *Board[F, S, J]) Report(id TaskID, attempt int, used Size) {
+func (b *Placer[F, S, J]) Report(id TaskID, attempt int, used Size) {
 	t := b.tasks[id]
 	if t == nil {
 		return
@@ -279,7 +279,7 @@
 }
 
 // resize changes what a task on a worker has reserved.
-func (b *Board[F, S, J]) resize(t *task, to Size) {
+func (b *Placer[F, S, J]) resize(t *task, to Size) {
 	w, tm := t.worker, b.teams[t.Team]
 	w.used, tm.used = w.used.Minus(t.reserve), tm.used.Minus(t.reserve)
 	shrinks := to.Fits(t.reserve) && to != t.reserve
@@ -291,14 +291,14 @@
 	}
 }
 
-func (b *Board[F, S, J]) unblock() {
+func (b *Placer[F, S, J]) unblock() {
 	for _, tm := range b.teams {
 		tm.blocked = false
 	}
 }
 
 // reindex brings a worker's sums and places in the indexes up to date.
-func (b *Board[F, S, J]) reindex(w *worker) {
+func (b *Placer[F, S, J]) reindex(w *worker) {
 	w.soft = Size{}
 	throttled := false
 	for _, t := range w.tasks {
@@ -319,7 +319,7 @@
 	b.index(w)
 }
 
-func (b *Board[F, S, J]) index(w *worker) {
+func (b *Placer[F, S, J]) index(w *worker) {
 	if w.Gone || b.aside[w.ID] || w.hold != nil {
 		b.free.remove(w.ID)
 		b.soft.remove(w.ID)
--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -13,7 +13,7 @@
 
 // Ended tells the board that a run of a task ended. Reports of earlier
 // attempts are ignored.
-func (b *Board[F, S, J]) Ended(id TaskID, attempt int, o Outcome, now clock.Millis) {
+func (b *Placer[F, S, J]) Ended(id TaskID, attempt int, o Outcome, now clock.Millis) {
 	t := b.tasks[id]
 	if t == nil || t.attempt != attempt || t.worker == nil {
 		return
@@ -40,7 +40,7 @@
 }
 
 // untried reports whether a worker is left that the task did not fail on.
-func (b *Board[F, S, J]) untried(t *task) bool {
+func (b *Placer[F, S, J]) untried(t *task) bool {
 	for id, w := range b.workers {
 		if !w.Gone && !b.aside[id] && !slices.Contains(t.failedOn, id) {
 			return true
@@ -50,7 +50,7 @@
 }
 
 // leave takes a task off its worker.
-func (b *Board[F, S, J]) leave(t *task) {
+func (b *Placer[F, S, J]) leave(t *task) {
 	w, tm := t.worker, b.teams[t.Team]
 	delete(w.tasks, t.ID)
 	w.used, tm.used = w.used.Minus(t.reserve), tm.used.Minus(t.reserve)
@@ -59,7 +59,7 @@
 	b.unblock()
 }
 
-func (b *Board[F, S, J]) requeue(t *task) {
+func (b *Placer[F, S, J]) requeue(t *task) {
 	if t.cancelled {
 		b.finish(t)
 		return
@@ -68,7 +68,7 @@
 	b.teams[t.Team].push(t)
 }
 
-func (b *Board[F, S, J]) finish(t *task) {
+func (b *Placer[F, S, J]) finish(t *task) {
 	b.teams[t.Team].setDisrupted(t, false)
 	t.phase = PhaseOver
 	if t.hold != nil {
@@ -83,7 +83,7 @@
 
 // giveUp ends a task that failed on several workers and takes back what its
 // failures counted against them: the task is to blame.
-func (b *Board[F, S, J]) giveUp(t *task) {
+func (b *Placer[F, S, J]) giveUp(t *task) {
 	for id, n := range t.blame {
 		w := b.workers[id]
 		w.weight = max(0, w.weight-n)
@@ -99,7 +99,7 @@
 
 // blame weighs a run against its worker and sets the worker aside when the
 // sum reaches the limit.
-func (b *Board[F, S, J]) blame(w *worker, t *task, failed bool, now clock.Millis) {
+func (b *Placer[F, S, J]) blame(w *worker, t *task, failed bool, now clock.Millis) {
 	class := Class{t.Team, t.Class}
 	r := b.classes[class]
 	if r == nil {
@@ -132,7 +132,7 @@
 }
 
 // restore lets a worker that was set aside run tasks again.
-func (b *Board[F, S, J]) restore(w *worker) {
+func (b *Placer[F, S, J]) restore(w *worker) {
 	delete(b.aside, w.ID)
 	w.streak, w.proven = 0, false
 	b.index(w)
@@ -140,7 +140,7 @@
 }
 
 // unhold gives up making room on a worker.
-func (b *Board[F, S, J]) unhold(w *worker) {
+func (b *Placer[F, S, J]) unhold(w *worker) {
 	t := w.hold
 	w.hold, t.hold = nil, nil
 	delete(b.holds, w.ID)
@@ -153,7 +153,7 @@
 // expire ends the lease of a worker that was not heard: nothing runs on it any
 // more, so its tasks may start elsewhere. Their loss counts against the same
 // budget as disruptions on purpose.
-func (b *Board[F, S, J]) expire(w *worker, now clock.Millis) {
+func (b *Placer[F, S, J]) expire(w *worker, now clock.Millis) {
 	for _, id := range sortedKeys(w.tasks) {
 		t := w.tasks[id]
 		tm := b.teams[t.Team]
@@ -169,7 +169,7 @@
 
 // Adopt tells a new leader's board that a task runs on a worker, as the worker
 // reports it.
-func (b *Board[F, S, J]) Adopt(t Task, w WorkerID, attempt int, until, started clock.Millis) {
+func (b *Placer[F, S, J]) Adopt(t Task, w WorkerID, attempt int, until, started clock.Millis) {
 	on, tm := b.workers[w], b.teams[t.Team]
 	if on == nil || tm == nil || b.tasks[t.ID] != nil {
 		return
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -10,7 +10,7 @@
 
 // Pass returns what to do now. Leases are renewed first, then full workers
 // relieved, and waiting tasks started, urgent ones before all others.
-func (b *Board[F, S, J]) Pass(now clock.Millis) Plan {
+func (b *Placer[F, S, J]) Pass(now clock.Millis) Plan {
 	b.fire(now)
 	b.renew(now)
 	for _, id := range sortedKeys(b.full) {
@@ -37,7 +37,7 @@
 
 // stopCancelled tells a bounded number of cancelled tasks to end. Those whose
 // end was ordered before need no second order.
-func (b *Board[F, S, J]) stopCancelled(now clock.Millis) {
+func (b *Placer[F, S, J]) stopCancelled(now clock.Millis) {
 	told := 0
 	for len(b.stops) > 0 && told < b.set.StopsPerPass {
 		t := b.stops[0]
@@ -56,7 +56,7 @@
 
 // passHold starts the task that room is made for once the room is there, and
 // gives up when it will not be.
-func (b *Board[F, S, J]) passHold(w *worker, now clock.Millis) {
+func (b *Placer[F, S, J]) passHold(w *worker, now clock.Millis) {
 	t := w.hold
 	switch {
 	case !w.Gone && b.usable(w, now) && b.estimate(t.Task).Fits(w.Size.Minus(w.used)):
@@ -69,7 +69,7 @@
 
 // fire handles what fell due: leases that ran out, workers to be tried again,
 // and orders that were not confirmed.
-func (b *Board[F, S, J]) fire(now clock.Millis) {
+func (b *Placer[F, S, J]) fire(now clock.Millis) {
 	for b.due.Len() > 0 && b.due.Top().at <= now {
 		d := b.due.Pop()
 		if t := b.tasks[d.task]; t != nil {
@@ -96,7 +96,7 @@
 }
 
 // prove ends the trial of a worker on which a task has run for the trial time.
-func (b *Board[F, S, J]) prove(w *worker, now clock.Millis) {
+func (b *Placer[F, S, J]) prove(w *worker, now clock.Millis) {
 	for _, t := range w.tasks {
 		if !w.proven && now-t.started >= b.set.TrialMillis {
 			w.proven = true
@@ -105,7 +105,7 @@
 	}
 }
 
-func (b *Board[F, S, J]) renew(now clock.Millis) {
+func (b *Placer[F, S, J]) renew(now clock.Millis) {
 	for _, id := range sortedKeys(b.heard) {
 		w := b.workers[id]
 		if w.until < now+b.set.LeaseMillis/4 {
@@ -122,7 +122,7 @@
 // proven runs a few tasks only. One whose failures
 // come near the limit runs a single task at a time, so that a worker which
 // fails quickly does not drain the queue.
-func (b *Board[F, S, J]) usable(w *worker, now clock.Millis) bool {
+func (b *Placer[F, S, J]) usable(w *worker, now clock.Millis) bool {
 	if w.Gone || b.aside[w.ID] || w.until < now+b.set.LeaseMillis/4 {
 		return false
 	}
@@ -135,7 +135,7 @@
 // attemptsPerTerm is more than the starts of one task under one leader.
 const attemptsPerTerm = 1_000_000
 
-func (b *Board[F, S, J]) start(t *task, w *worker, now clock.Millis) {
+func (b *Placer[F, S, J]) start(t *task, w *worker, now clock.Millis) {
 	tm := b.teams[t.Team]
 	tm.setDisrupted(t, false)
 	t.phase, t.worker, t.started, t.until, t.percent = PhaseRunning, w, now, w.until, 100
@@ -152,7 +152,7 @@
 
 // startWaiting starts tasks team by team: the most urgent head first, and of
 // equals the team that holds the smallest part of its quota.
-func (b *Board[F, S, J]) startWaiting(now clock.Millis) {
+func (b *Placer[F, S, J]) startWaiting(now clock.Millis) {
 	active := make([]*team, 0, len(b.teams))
 	for _, id := range sortedKeys(b.teams) {
 		if tm := b.teams[id]; !tm.blocked && tm.head() != nil {
@@ -190,7 +190,7 @@
 
 // startOne starts the first of the team's waiting tasks that may start, within
 // the lookahead. Failed collects the sizes that no worker had room for.
-func (b *Board[F, S, J]) startOne(tm *team, now clock.Millis, failed *[]Size) bool {
+func (b *Placer[F, S, J]) startOne(tm *team, now clock.Millis, failed *[]Size) bool {
 	var passed []*task
 	var first Limit
 	started := false
@@ -217,7 +217,7 @@
 	return started
 }
 
-func (b *Board[F, S, J]) try(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
+func (b *Placer[F, S, J]) try(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
 	need := b.estimate(t.Task)
 	if !tm.used.Plus(need).Fits(tm.contract.Quota) {
 		tm.limit = LimitQuota
@@ -240,7 +240,7 @@
 }
 
 // choose returns the worker that the policy tries first among those with room.
-func (b *Board[F, S, J]) choose(t *task, need Size, now clock.Millis) *worker {
+func (b *Placer[F, S, J]) choose(t *task, need Size, now clock.Millis) *worker {
 	ok := func(id WorkerID) *worker {
 		w := b.workers[id]
 		if w.hold == nil && need.Fits(w.Size.Minus(w.used)) && b.usable(w, now) && !slices.Contains(t.failedOn, id) {
@@ -264,7 +264,7 @@
 }
 
 // scan looks at all workers by name, for the baseline and with the index off.
-func (b *Board[F, S, J]) scan(ok func(WorkerID) *worker, step int) *worker {
+func (b *Placer[F, S, J]) scan(ok func(WorkerID) *worker, step int) *worker {
 	var best *worker
 	for _, id := range sortedKeys(b.workers) {
 		w := ok(id)
@@ -282,7 +282,7 @@
 	return best
 }
 
-func (b *Board[F, S, J]) wait(id model.Customer, tm *team) {
+func (b *Placer[F, S, J]) wait(id model.Customer, tm *team) {
 	t := tm.head()
 	if t == nil || !tm.blocked {
 		return
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -241,7 +241,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
 		f.delay = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay"))
-		board := func(term int) *Board[BestFit, Declared, Peers] {
+		board := func(term int) *Placer[BestFit, Declared, Peers] {
 			b := NewBoard(BestFit{}, Declared{}, Peers{Least: 6}, Defaults())
 			b.TakeOver(term, f.now)
 			f.fill(b)
@@ -254,7 +254,7 @@
 			tasks[x.ID] = x
 		}
 		// Late reports reach the board of the leader at the time.
-		b := &Board[BestFit, Declared, Peers]{}
+		b := &Placer[BestFit, Declared, Peers]{}
 		for term := 1; term <= 4; term++ {
 			*b = *board(term)
 			length := 60 + f.rnd.IntN(40)
@@ -338,7 +338,7 @@
 // of the present one.
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
 	f := newFake(1, 1)
-	start := func(term int) (*Board[BestFit, Declared, Trust], int) {
+	start := func(term int) (*Placer[BestFit, Declared, Trust], int) {
 		b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
 		f.fill(b)
 		b.SetContract(teamContract(0, 64000))
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -21,7 +21,7 @@
 
 // makeRoom frees room for an urgent task on the worker where that costs least.
 // The worker takes no other task until the room is there.
-func (b *Board[F, S, J]) makeRoom(tm *team, t *task, need Size, now clock.Millis) bool {
+func (b *Placer[F, S, J]) makeRoom(tm *team, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
 	least := clock.Millis(0)
@@ -58,7 +58,7 @@
 
 // softest lists the workers that would have most room without the tasks that
 // can give way.
-func (b *Board[F, S, J]) softest(least int) []WorkerID {
+func (b *Placer[F, S, J]) softest(least int) []WorkerID {
 	var out []WorkerID
 	for k := len(b.soft.buckets) - 1; k >= least && len(out) < softLook; k-- {
 		list := b.soft.buckets[k]
@@ -69,7 +69,7 @@
 
 // relieveFull makes tasks give way on a worker whose tasks use more than it
 // has, as far as budgets allow. Tasks that are ending already count as gone.
-func (b *Board[F, S, J]) relieveFull(w *worker, now clock.Millis) {
+func (b *Placer[F, S, J]) relieveFull(w *worker, now clock.Millis) {
 	lack := w.used.Minus(w.Size)
 	for _, t := range w.tasks {
 		if t.phase == PhaseEnding {
@@ -87,7 +87,7 @@
 // first, since no work is lost, then throttling, then stops. Each step is
 // bounded by the disruption budget of the task's team. It reports whether the
 // lack is covered.
-func (b *Board[F, S, J]) ladder(w *worker, lack Size, now clock.Millis, may func(*task) bool) ([]victim, bool) {
+func (b *Placer[F, S, J]) ladder(w *worker, lack Size, now clock.Millis, may func(*task) bool) ([]victim, bool) {
 	var out []victim
 	extra := map[model.Customer]int{}
 	pending := map[model.Customer]clock.Millis{}
@@ -120,7 +120,7 @@
 
 // orderOf lists the worker's running tasks that can bear the step, those of
 // least priority and least cost first.
-func (b *Board[F, S, J]) orderOf(w *worker, kind ActionKind, now clock.Millis) []*task {
+func (b *Placer[F, S, J]) orderOf(w *worker, kind ActionKind, now clock.Millis) []*task {
 	var out []*task
 	for _, id := range sortedKeys(w.tasks) {
 		t := w.tasks[id]
@@ -147,7 +147,7 @@
 const throttledPercent = 50
 
 // gives is the room that a step frees and the time that it costs the task.
-func (b *Board[F, S, J]) gives(t *task, kind ActionKind, now clock.Millis) (Size, clock.Millis) {
+func (b *Placer[F, S, J]) gives(t *task, kind ActionKind, now clock.Millis) (Size, clock.Millis) {
 	switch kind {
 	case ActionCheckpoint:
 		return t.reserve, b.set.CheckpointMillis
@@ -159,7 +159,7 @@
 }
 
 // disrupt carries the steps out on the board and orders them.
-func (b *Board[F, S, J]) disrupt(victims []victim, now clock.Millis, reason string) {
+func (b *Placer[F, S, J]) disrupt(victims []victim, now clock.Millis, reason string) {
 	for _, v := range victims {
 		tm := b.teams[v.t.Team]
 		tm.spent = append(tm.spent, expense{at: now, cost: v.cost})
@@ -176,7 +176,7 @@
 	}
 }
 
-func (b *Board[F, S, J]) throttle(t *task, reason string) {
+func (b *Placer[F, S, J]) throttle(t *task, reason string) {
 	b.out.Actions = append(b.out.Actions, Action{
 		Kind: ActionThrottle, Worker: t.worker.ID, Task: t.ID, Attempt: t.attempt, Percent: t.percent, Reason: reason,
 	})
@@ -184,7 +184,7 @@
 
 // restoreThrottled gives throttled tasks their full size back where there is
 // room again that no held task needs.
-func (b *Board[F, S, J]) restoreThrottled() {
+func (b *Placer[F, S, J]) restoreThrottled() {
 	for _, id := range sortedKeys(b.slack) {
 		w := b.workers[id]
 		if w.hold != nil {
