--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -102,8 +102,8 @@
 	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.worker, e.worker), cmp.Compare(d.task, e.task)) < 0
 }
 
-// NewBoard returns a board without tasks and workers.
-func NewBoard[F Fit, S Sizer, J Judge](fit F, sizer S, judge J, set Settings) *Placer[F, S, J] {
+// NewPlacer returns a board without tasks and workers.
+func NewPlacer[F Fit, S Sizer, J Judge](fit F, sizer S, judge J, set Settings) *Placer[F, S, J] {
 	set.FailMost, set.Lookahead = max(set.FailMost, 1), max(set.Lookahead, 1)
 	set.StopsPerPass, set.StopPauseMillis = max(set.StopsPerPass, 1), max(set.StopPauseMillis, 1)
 	return &Placer[F, S, J]{
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -68,7 +68,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
 		f.delay, f.drop = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "drop")
-		b := NewBoard(BestFit{}, NewQuantile(90), Peers{Least: 6}, Defaults())
+		b := NewPlacer(BestFit{}, NewQuantile(90), Peers{Least: 6}, Defaults())
 		f.fill(b)
 		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
 		for k := range 2 {
@@ -135,7 +135,7 @@
 func TestQuotaHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
-		b := NewBoard(WorstFit{}, Declared{}, Trust{}, Defaults())
+		b := NewPlacer(WorstFit{}, Declared{}, Trust{}, Defaults())
 		f.fill(b)
 		quota := rapid.IntRange(1000, 30000).Draw(t, "quota")
 		b.SetContract(teamContract(0, quota))
@@ -160,7 +160,7 @@
 // against refusals without figures.
 func TestImpossibleWorkIsRefused(t *testing.T) {
 	f := newFake(1, 3)
-	b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	b := NewPlacer(BestFit{}, Declared{}, Trust{}, Defaults())
 	f.fill(b)
 	b.SetContract(teamContract(0, 20000))
 	for _, c := range []struct {
@@ -186,7 +186,7 @@
 // ladderKinds fills one worker and returns how room is made for urgent work.
 func ladderKinds(t *testing.T, most int, budget clock.Millis) (kinds []ActionKind, limit Limit) {
 	f := newFake(1, 1)
-	b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	b := NewPlacer(BestFit{}, Declared{}, Trust{}, Defaults())
 	f.fill(b)
 	c := teamContract(0, 64000)
 	c.MaxUnavailable, c.BudgetMillis = most, budget
@@ -242,7 +242,7 @@
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
 		f.delay = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay"))
 		board := func(term int) *Placer[BestFit, Declared, Peers] {
-			b := NewBoard(BestFit{}, Declared{}, Peers{Least: 6}, Defaults())
+			b := NewPlacer(BestFit{}, Declared{}, Peers{Least: 6}, Defaults())
 			b.TakeOver(term, f.now)
 			f.fill(b)
 			b.SetContract(teamContract(0, 64000))
@@ -295,7 +295,7 @@
 	f := newFake(1, 40)
 	set := Defaults()
 	set.StopsPerPass, set.TrialTasks = 20, 100
-	b := NewBoard(WorstFit{}, Declared{}, Peers{Least: 6}, set)
+	b := NewPlacer(WorstFit{}, Declared{}, Peers{Least: 6}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 1<<20))
 	b.SetContract(teamContract(1, 1<<20))
@@ -339,7 +339,7 @@
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
 	f := newFake(1, 1)
 	start := func(term int) (*Placer[BestFit, Declared, Trust], int) {
-		b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+		b := NewPlacer(BestFit{}, Declared{}, Trust{}, Defaults())
 		f.fill(b)
 		b.SetContract(teamContract(0, 64000))
 		b.TakeOver(term, f.now)
@@ -362,7 +362,7 @@
 	f := newFake(1, 4)
 	set := Defaults()
 	set.AsidePercent = 100
-	b := NewBoard(BestFit{}, Declared{}, Streak{N: 1}, set)
+	b := NewPlacer(BestFit{}, Declared{}, Streak{N: 1}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 64000))
 	x := f.add(0, 1, 1000, clock.Second, 100)
@@ -385,7 +385,7 @@
 // lost to the worker and the workers that were set aside.
 func judged[J Judge](j J, seed uint64, badWorker, badClass bool) (lost int, aside []WorkerID) {
 	f := newFake(seed, 12)
-	b := NewBoard(WorstFit{}, NewQuantile(90), j, Defaults())
+	b := NewPlacer(WorstFit{}, NewQuantile(90), j, Defaults())
 	f.fill(b)
 	for k := range 4 {
 		b.SetContract(teamContract(k, 1<<20))
