--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -130,8 +130,8 @@
 	config := jobs.Config{
 		Version: 3, Document: []byte("{}"), Pools: []jobs.Pool{{Name: "p"}},
 		Queues: []jobs.Queue{
-			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500},
-			{Name: "deep", Host: "h", Prefix: "/q/deep/", Pool: "p", Attempts: 2},
+			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500},
+			{Name: "deep", Host: "h", Prefix: "/q/deep/", Pool: "p", MaxAttempts: 2},
 			{Name: "advised", Host: "a", Prefix: "/", Pool: "p", Advice: jobs.Advice{Valid: 4000}},
 		},
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -75,9 +75,9 @@
 	Pool   PoolName
 	// Priority 0 goes first.
 	Priority int
-	// Attempts is the number of failed runs after which a task fails its job;
+	// MaxAttempts is the number of failed runs after which a task fails its job;
 	// at least 1.
-	Attempts int
+	MaxAttempts int
 	// Target and StretchPermille make a job's objective: the target on top of
 	// the stretched length of its longest chain of steps.
 	Target          clock.Millis
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -18,7 +18,7 @@
 	c := r.State.Config
 	c.Version++
 	c.Queues = []jobs.Queue{{
-		Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500,
+		Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500,
 		Advice: jobs.Advice{Valid: ticketLife, Decide: 20, Each: 2},
 	}}
 	r.Configure(c, r.now)
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -16,7 +16,7 @@
 	for p := range (n + 69) / 70 {
 		name := fmt.Sprint("p", p)
 		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(name)})
-		c.Queues = append(c.Queues, jobs.Queue{Name: jobs.QueueName(name), Host: name, Prefix: "/", Pool: jobs.PoolName(name), Attempts: 3, Target: 1 << 40})
+		c.Queues = append(c.Queues, jobs.Queue{Name: jobs.QueueName(name), Host: name, Prefix: "/", Pool: jobs.PoolName(name), MaxAttempts: 3, Target: 1 << 40})
 	}
 	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
 	b := NewBoard(Defaults(), EarliestObjective{}, place.Peers{Least: 3}, s, 1000)
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -271,7 +271,7 @@
 	r.Pass(r.now)
 	c := r.State.Config
 	c.Version++
-	c.Queues = []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "other", Attempts: 2}}
+	c.Queues = []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "other", MaxAttempts: 2}}
 	r.Configure(c, r.now)
 	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 1)
 }
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -86,7 +86,7 @@
 	s := jobs.New()
 	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p"}, {Name: "other"}, {Name: "off", Standby: true}},
-		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500}},
 	}}}, 1000)
 	return &rig{testBoard: NewBoard(set, EarliestObjective{}, place.Peers{Least: 3}, s, 1000), now: 1000}
 }
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -114,7 +114,7 @@
 	w.set.SurgeMillis = 0
 	w.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p", Guarded: true}},
-		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
 	}}}, w.now)
 	for n := range 4 {
 		w.workers = append(w.workers, w.newInstance(n))
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -14,7 +14,7 @@
 	for _, q := range c.Queues {
 		w.Queues = append(w.Queues, &wirepb.JobQueue{
 			Name: text(q.Name), Host: text(q.Host), Prefix: text(q.Prefix), Pool: text(q.Pool), Priority: int64(q.Priority),
-			Attempts: int64(q.Attempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advice: adviceToWire(q.Advice),
+			Attempts: int64(q.MaxAttempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advice: adviceToWire(q.Advice),
 		})
 	}
 	for _, p := range c.Pools {
@@ -42,7 +42,7 @@
 	for _, q := range w.GetQueues() {
 		c.Queues = append(c.Queues, jobs.Queue{
 			Name: jobs.QueueName(q.GetName()), Host: q.GetHost(), Prefix: q.GetPrefix(), Pool: jobs.PoolName(q.GetPool()),
-			Priority: int(q.GetPriority()), Attempts: int(q.GetAttempts()), Target: clock.Millis(q.GetTargetMs()),
+			Priority: int(q.GetPriority()), MaxAttempts: int(q.GetAttempts()), Target: clock.Millis(q.GetTargetMs()),
 			StretchPermille: int(q.GetStretchPermille()), Advice: adviceFromWire(q.GetAdvice()),
 		})
 	}
