--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -164,7 +164,7 @@
 func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
 	j := c.Job
 	j.ID, j.Queue, j.Pool = id, q.Name, q.Pool
-	j.Priority, j.Attempts, j.Target, j.StretchPermille = q.Priority, q.MaxAttempts, q.Target, q.StretchPermille
+	j.Priority, j.MaxAttempts, j.Target, j.StretchPermille = q.Priority, q.MaxAttempts, q.Target, q.StretchPermille
 	r.board.Submit(j, now)
 	return Answer{Status: r.board.State.Jobs[id].Status}
 }
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -259,7 +259,7 @@
 		s.done(r, o.Task)
 	case o.How == HowFailed && !step.Lasting:
 		t.Fails++
-		if t.Fails >= max(r.Attempts, 1) && !r.Status.Final() {
+		if t.Fails >= max(r.MaxAttempts, 1) && !r.Status.Final() {
 			s.finish(r, StatusFailed)
 		}
 	}
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -10,7 +10,7 @@
 )
 
 func submitted(id ID, steps ...Step) Op {
-	return Op{Kind: OpSubmit, Job: &Job{ID: id, Queue: "q", Pool: "p", Spec: "s", Attempts: 2, Steps: steps}}
+	return Op{Kind: OpSubmit, Job: &Job{ID: id, Queue: "q", Pool: "p", Spec: "s", MaxAttempts: 2, Steps: steps}}
 }
 
 func assigned(t Task, run int) Op {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -170,7 +170,7 @@
 	Interval clock.Millis
 	// Priority, Attempts, Target and StretchPermille are the queue's.
 	Priority        int
-	Attempts        int
+	MaxAttempts     int
 	Target          clock.Millis
 	StretchPermille int
 	// Accepted is the leader's time at submission.
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -53,7 +53,7 @@
 			Estimate: takes * clock.Millis(80+r.IntN(40)) / 100,
 		}
 		all = append(all, arrival{at: at, takes: takes, job: jobs.Job{
-			ID: jobs.ID(fmt.Sprint("j", len(all))), Queue: "q", Pool: "p", Attempts: 3, Target: 3600, StretchPermille: 1600,
+			ID: jobs.ID(fmt.Sprint("j", len(all))), Queue: "q", Pool: "p", MaxAttempts: 3, Target: 3600, StretchPermille: 1600,
 			Steps: []jobs.Step{step},
 		}})
 	}
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -102,7 +102,7 @@
 }
 
 func (r *rig) submit(id string, steps ...jobs.Step) {
-	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
+	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
 }
 
 // orders returns the orders for a worker of a plan.
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -176,7 +176,7 @@
 func (w *world) submit() {
 	w.jobs++
 	j := jobs.Job{
-		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", Attempts: worldAttempts, Target: 3000, StretchPermille: 1500,
+		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
 			{Count: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
 			{Count: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, After: []int{0}, Saves: true},
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -15,7 +15,7 @@
 // anyJob generates one of a few jobs, so that operations meet.
 func anyJob(t *rapid.T) jobs.Job {
 	j := jobs.Job{
-		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", Attempts: 2, Target: 3600, StretchPermille: 1600,
+		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", MaxAttempts: 2, Target: 3600, StretchPermille: 1600,
 		Steps: []jobs.Step{
 			{Count: 2, Need: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", PerWorker: 1},
 			{Count: 1, After: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
