--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -90,8 +90,8 @@
 // Advice is the rule of a queue that runs each step only on the workers that
 // the advice service names for it.
 type Advice struct {
-	// Valid is how long a ticket holds; above 0 for a queue with advice.
-	Valid clock.Millis
+	// TicketValidity is how long a ticket holds; above 0 for a queue with advice.
+	TicketValidity clock.Millis
 	// Decide is how long an answer takes, and Each how much longer for each
 	// worker named.
 	Decide clock.Millis
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -78,7 +78,7 @@
 
 // allowed reports whether the rules of the group's queue let the worker run it.
 func (b *Board[O, J]) allowed(w *worker, g *group, now clock.Millis) bool {
-	if b.adviceOf(g.rec).Valid == 0 {
+	if b.adviceOf(g.rec).TicketValidity == 0 {
 		return true
 	}
 	_, ok := b.ticket(w, g.key, now)
@@ -90,7 +90,7 @@
 // enough good ones by the queue's earlier answers, those that tasks would be
 // placed on first.
 func (b *Board[O, J]) ask(p *pool, g *group, now clock.Millis) {
-	if b.adviceOf(g.rec).Valid == 0 || b.advice.lives != nil {
+	if b.adviceOf(g.rec).TicketValidity == 0 || b.advice.lives != nil {
 		return
 	}
 	a := b.advice.steps[g.key]
@@ -170,7 +170,7 @@
 	good := 0
 	for _, t := range o.Tickets {
 		if life, ok := lives[t.Worker]; ok && t.Text != "" {
-			step.opinions[t.Worker] = opinion{life: life, ticket: t.Text, until: asked + b.adviceOf(rec).Valid}
+			step.opinions[t.Worker] = opinion{life: life, ticket: t.Text, until: asked + b.adviceOf(rec).TicketValidity}
 			good++
 		}
 	}
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -249,7 +249,7 @@
 	b.advices = map[jobs.QueueName]jobs.Advice{}
 	for _, q := range c.Queues {
 		b.queues[q.Name] = q.Pool
-		if q.Advice.Valid > 0 {
+		if q.Advice.TicketValidity > 0 {
 			b.advices[q.Name] = q.Advice
 		}
 	}
