--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -92,10 +92,10 @@
 type Advice struct {
 	// TicketValidity is how long a ticket holds; above 0 for a queue with advice.
 	TicketValidity clock.Millis
-	// Decide is how long an answer takes, and Each how much longer for each
+	// BaseLatency is how long an answer takes, and Each how much longer for each
 	// worker named.
-	Decide clock.Millis
-	Each   clock.Millis
+	BaseLatency clock.Millis
+	Each        clock.Millis
 }
 
 // Pool is a set of workers of the configuration.
