--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -94,8 +94,8 @@
 	TicketValidity clock.Millis
 	// BaseLatency is how long an answer takes, and Each how much longer for each
 	// worker named.
-	BaseLatency clock.Millis
-	Each        clock.Millis
+	BaseLatency      clock.Millis
+	LatencyPerWorker clock.Millis
 }
 
 // Pool is a set of workers of the configuration.
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -28,12 +28,12 @@
 	if a == (jobs.Advice{}) {
 		return nil
 	}
-	return &wirepb.JobAdvice{ValidMs: int64(a.TicketValidity), DecideMs: int64(a.BaseLatency), EachMs: int64(a.Each)}
+	return &wirepb.JobAdvice{ValidMs: int64(a.TicketValidity), DecideMs: int64(a.BaseLatency), EachMs: int64(a.LatencyPerWorker)}
 }
 
 func adviceFromWire(w *wirepb.JobAdvice) jobs.Advice {
 	return jobs.Advice{
-		TicketValidity: clock.Millis(w.GetValidMs()), BaseLatency: clock.Millis(w.GetDecideMs()), Each: clock.Millis(w.GetEachMs()),
+		TicketValidity: clock.Millis(w.GetValidMs()), BaseLatency: clock.Millis(w.GetDecideMs()), LatencyPerWorker: clock.Millis(w.GetEachMs()),
 	}
 }
 
