--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -132,7 +132,7 @@
 		Queues: []jobs.Queue{
 			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500},
 			{Name: "deep", Host: "h", Prefix: "/q/deep/", Pool: "p", MaxAttempts: 2},
-			{Name: "advised", Host: "a", Prefix: "/", Pool: "p", Advice: jobs.Advice{TicketValidity: 4000}},
+			{Name: "advised", Host: "a", Prefix: "/", Pool: "p", Advice: jobs.AdvicePolicy{TicketValidity: 4000}},
 		},
 	}
 	ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: config})
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -84,12 +84,12 @@
 	StretchPermille int
 	// Advice is the zero value for a queue whose tasks may run on any worker of
 	// the pool.
-	Advice Advice
+	Advice AdvicePolicy
 }
 
-// Advice is the rule of a queue that runs each step only on the workers that
+// AdvicePolicy is the rule of a queue that runs each step only on the workers that
 // the advice service names for it.
-type Advice struct {
+type AdvicePolicy struct {
 	// TicketValidity is how long a ticket holds; above 0 for a queue with advice.
 	TicketValidity clock.Millis
 	// BaseLatency is how long an answer takes, and Each how much longer for each
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -64,7 +64,7 @@
 
 // adviceOf returns the rule of a job's queue; the zero value for a queue without
 // advice.
-func (b *Board[O, J]) adviceOf(r *jobs.Record) jobs.Advice { return b.advices[r.Queue] }
+func (b *Board[O, J]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return b.advices[r.Queue] }
 
 // ticket returns a worker's ticket for a step of a queue with advice.
 func (b *Board[O, J]) ticket(w *worker, k groupKey, now clock.Millis) (string, bool) {
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -19,7 +19,7 @@
 	c.Version++
 	c.Queues = []jobs.Queue{{
 		Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500,
-		Advice: jobs.Advice{TicketValidity: ticketLife, BaseLatency: 20, LatencyPerWorker: 2},
+		Advice: jobs.AdvicePolicy{TicketValidity: ticketLife, BaseLatency: 20, LatencyPerWorker: 2},
 	}}
 	r.Configure(c, r.now)
 	return r
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -33,7 +33,7 @@
 	// placed lists the version of the configuration that queues was made of.
 	placed uint64
 	// advices holds the rules of the queues in force that have advice.
-	advices map[jobs.QueueName]jobs.Advice
+	advices map[jobs.QueueName]jobs.AdvicePolicy
 	advice  advice
 	// now is the latest time that a call has told.
 	now clock.Millis
@@ -246,7 +246,7 @@
 	}
 	b.placed = c.Version
 	b.queues = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
-	b.advices = map[jobs.QueueName]jobs.Advice{}
+	b.advices = map[jobs.QueueName]jobs.AdvicePolicy{}
 	for _, q := range c.Queues {
 		b.queues[q.Name] = q.Pool
 		if q.Advice.TicketValidity > 0 {
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -45,7 +45,7 @@
 	case jobs.OpConfig:
 		o.Config = &jobs.Config{
 			Version: rapid.Uint64Range(1, 9).Draw(t, "version"), Document: []byte("{}"),
-			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", MaxAttempts: 2, Advice: jobs.Advice{TicketValidity: 4000, BaseLatency: 50, LatencyPerWorker: 3}}},
+			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", MaxAttempts: 2, Advice: jobs.AdvicePolicy{TicketValidity: 4000, BaseLatency: 50, LatencyPerWorker: 3}}},
 			Pools:  []jobs.Pool{{Name: "p", Standby: true, Guarded: true}},
 		}
 	case jobs.OpWave:
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -24,15 +24,15 @@
 }
 
 // adviceToWire leaves the rule of a queue without advice out.
-func adviceToWire(a jobs.Advice) *wirepb.JobAdvice {
-	if a == (jobs.Advice{}) {
+func adviceToWire(a jobs.AdvicePolicy) *wirepb.JobAdvice {
+	if a == (jobs.AdvicePolicy{}) {
 		return nil
 	}
 	return &wirepb.JobAdvice{ValidMs: int64(a.TicketValidity), DecideMs: int64(a.BaseLatency), EachMs: int64(a.LatencyPerWorker)}
 }
 
-func adviceFromWire(w *wirepb.JobAdvice) jobs.Advice {
-	return jobs.Advice{
+func adviceFromWire(w *wirepb.JobAdvice) jobs.AdvicePolicy {
+	return jobs.AdvicePolicy{
 		TicketValidity: clock.Millis(w.GetValidMs()), BaseLatency: clock.Millis(w.GetDecideMs()), LatencyPerWorker: clock.Millis(w.GetEachMs()),
 	}
 }
