--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -76,7 +76,7 @@
 		// Only a leader that is confirmed may say that something does not exist.
 		r.next.confirm = true
 	}
-	if c.Kind == CallConfig || c.Kind == CallWave {
+	if c.Kind == CallGetConfig || c.Kind == CallWave {
 		r.next.confirm = true
 	}
 }
@@ -88,7 +88,7 @@
 	case CallConfigure:
 		r.board.Configure(c.Config, now)
 		return Answer{Version: s.Config.Version}
-	case CallConfig:
+	case CallGetConfig:
 		if s.Config.Version == 0 {
 			return unavailable("no configuration is in force")
 		}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -93,7 +93,7 @@
 	CallList
 	// CallConfigure puts Config in force, and CallConfig returns what is.
 	CallConfigure
-	CallConfig
+	CallGetConfig
 	// CallDeclare declares Wave, and CallWave asks for wave Number.
 	CallDeclare
 	CallWave
