--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -76,7 +76,7 @@
 		// Only a leader that is confirmed may say that something does not exist.
 		r.next.confirm = true
 	}
-	if c.Kind == CallGetConfig || c.Kind == CallWave {
+	if c.Kind == CallGetConfig || c.Kind == CallGetWave {
 		r.next.confirm = true
 	}
 }
@@ -96,7 +96,7 @@
 	case CallDeclare:
 		r.board.Declare(c.Wave, now)
 		return Answer{}
-	case CallWave:
+	case CallGetWave:
 		w := s.Waves[c.Number]
 		if w == nil {
 			return Answer{Kind: AnswerNoWave, Reason: "no such wave"}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -96,7 +96,7 @@
 	CallGetConfig
 	// CallDeclare declares Wave, and CallWave asks for wave Number.
 	CallDeclare
-	CallWave
+	CallGetWave
 )
 
 // Call is a question or an order of a submitter or an operator.
