--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -93,7 +93,7 @@
 			return unavailable("no configuration is in force")
 		}
 		return Answer{Document: s.Config.Document, Version: s.Config.Version}
-	case CallDeclare:
+	case CallDeclareWave:
 		r.board.Declare(c.Wave, now)
 		return Answer{}
 	case CallGetWave:
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -94,8 +94,8 @@
 	// CallConfigure puts Config in force, and CallConfig returns what is.
 	CallConfigure
 	CallGetConfig
-	// CallDeclare declares Wave, and CallWave asks for wave Number.
-	CallDeclare
+	// CallDeclareWave declares Wave, and CallWave asks for wave Number.
+	CallDeclareWave
 	CallGetWave
 )
 
