--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -249,7 +249,7 @@
 		{"submission by name", Call{Kind: CallSubmit, Queue: "deep", ID: "named", Job: gang.Job}, AnswerDone},
 		{"submission to no queue", Call{Kind: CallSubmit, Queue: "none", ID: "unknown", Job: gang.Job}, AnswerNoQueue},
 		{"submission without a name", Call{Kind: CallSubmit, Queue: "deep", Job: gang.Job}, AnswerInvalid},
-		{"unknown wave", Call{Kind: CallGetWave, Number: 7}, AnswerNoWave},
+		{"unknown wave", Call{Kind: CallGetWave, WaveNumber: 7}, AnswerNoWave},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			assert.Equal(t, r.Call(context.Background(), c.call).Kind, c.want)
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -97,7 +97,7 @@
 		r.board.Declare(c.Wave, now)
 		return Answer{}
 	case CallGetWave:
-		w := s.Waves[c.Number]
+		w := s.Waves[c.WaveNumber]
 		if w == nil {
 			return Answer{Kind: AnswerNoWave, Reason: "no such wave"}
 		}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -108,12 +108,12 @@
 	Path string
 	// Queue and ID name the queue and the job in place of them; a job that is
 	// known needs no queue.
-	Queue  jobs.QueueName
-	ID     jobs.ID
-	Job    jobs.Job
-	Config jobs.Config
-	Wave   jobs.Wave
-	Number int
+	Queue      jobs.QueueName
+	ID         jobs.ID
+	Job        jobs.Job
+	Config     jobs.Config
+	Wave       jobs.Wave
+	WaveNumber int
 }
 
 // AnswerKind tells answers apart.
