--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -113,7 +113,7 @@
 		lines, total := r.board.List(listMost)
 		return Answer{Jobs: lines, Pending: total}
 	}
-	if c.Queue != "" || c.ID != "" {
+	if c.Queue != "" || c.JobID != "" {
 		return r.handleNamed(c, now)
 	}
 	q, id, ok := resolve(&s.Config, c.Host, c.Path)
@@ -127,7 +127,7 @@
 // that is known may have been removed.
 func (r *Runner[G, M, O, J]) handleNamed(c *Call, now clock.Millis) Answer {
 	name := c.Queue
-	rec := r.board.State.Jobs[c.ID]
+	rec := r.board.State.Jobs[c.JobID]
 	if rec != nil && name == "" {
 		name = rec.Queue
 	}
@@ -138,7 +138,7 @@
 	case !ok && rec == nil:
 		return Answer{Kind: AnswerNoQueue, Reason: "no queue has this name"}
 	}
-	return r.handleJob(c, &q, c.ID, now)
+	return r.handleJob(c, &q, c.JobID, now)
 }
 
 func (r *Runner[G, M, O, J]) handleJob(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -109,7 +109,7 @@
 	// Queue and ID name the queue and the job in place of them; a job that is
 	// known needs no queue.
 	Queue      jobs.QueueName
-	ID         jobs.ID
+	JobID      jobs.ID
 	Job        jobs.Job
 	Config     jobs.Config
 	Wave       jobs.Wave
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -10,7 +10,7 @@
 
 // CallToWire maps a call of a submitter.
 func CallToWire(c runner.Call) *wirepb.WorkCall {
-	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: text(c.Host), Path: text(c.Path), Queue: text(c.Queue), Id: text(c.ID)}
+	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: text(c.Host), Path: text(c.Path), Queue: text(c.Queue), Id: text(c.JobID)}
 	if c.Kind == runner.CallSubmit {
 		w.Job = JobToWire(c.Job)
 	}
@@ -25,7 +25,7 @@
 		return runner.Call{}, err
 	}
 	c := runner.Call{
-		Kind: kind, Host: w.GetHost(), Path: w.GetPath(), Queue: jobs.QueueName(w.GetQueue()), ID: jobs.ID(w.GetId()),
+		Kind: kind, Host: w.GetHost(), Path: w.GetPath(), Queue: jobs.QueueName(w.GetQueue()), JobID: jobs.ID(w.GetId()),
 	}
 	if kind == runner.CallSubmit {
 		c.Job, err = JobFromWire(w.GetJob())
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/work_test.go
@@ -17,7 +17,7 @@
 func TestWorkRoundTrip(t *testing.T) {
 	for _, c := range []runner.Call{
 		{Kind: runner.CallSubmit, Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1}}}},
-		{Kind: runner.CallExplain, ID: "a"},
+		{Kind: runner.CallExplain, JobID: "a"},
 		{Kind: runner.CallList, Queue: "q"},
 	} {
 		got, err := CallFromWire(CallToWire(c))
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -41,17 +41,17 @@
 	if err != nil {
 		return err
 	}
-	return work(o, "job submit", runner.Call{Kind: runner.CallSubmit, Queue: j.Queue, ID: j.ID, Job: j}, printStatus(o, out, j.ID))
+	return work(o, "job submit", runner.Call{Kind: runner.CallSubmit, Queue: j.Queue, JobID: j.ID, Job: j}, printStatus(o, out, j.ID))
 }
 
 func getJob(o *options, out io.Writer) error {
 	id := jobs.ID(o.name)
-	return work(o, "job get", runner.Call{Kind: runner.CallStatus, ID: id}, printStatus(o, out, id))
+	return work(o, "job get", runner.Call{Kind: runner.CallStatus, JobID: id}, printStatus(o, out, id))
 }
 
 func cancelJob(o *options, out io.Writer) error {
 	id := jobs.ID(o.name)
-	return work(o, "job cancel", runner.Call{Kind: runner.CallCancel, ID: id}, printStatus(o, out, id))
+	return work(o, "job cancel", runner.Call{Kind: runner.CallCancel, JobID: id}, printStatus(o, out, id))
 }
 
 func listJobs(o *options, out io.Writer) error {
@@ -65,7 +65,7 @@
 }
 
 func explainJob(o *options, out io.Writer) error {
-	return work(o, "explain", runner.Call{Kind: runner.CallExplain, ID: jobs.ID(o.name)}, func(a runner.Answer) error {
+	return work(o, "explain", runner.Call{Kind: runner.CallExplain, JobID: jobs.ID(o.name)}, func(a runner.Answer) error {
 		return report.Job(out, o.format(), *a.Report)
 	})
 }
