--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -169,7 +169,7 @@
 }
 
 // domainSizes counts instances by domain, in ascending order of names.
-func domainSizes(f Fleet, d model.Domain) []domainSize {
+func domainSizes(f Fleet, d model.FailureDomain) []domainSize {
 	count := map[string]int{}
 	for _, i := range f.Instances {
 		count[DomainOf(i, d)]++
@@ -183,7 +183,7 @@
 }
 
 // DomainOf names the failure domain of that kind which holds the instance.
-func DomainOf(i model.Instance, d model.Domain) string {
+func DomainOf(i model.Instance, d model.FailureDomain) string {
 	switch d {
 	case model.DomainZone:
 		return string(i.Zone)
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -30,7 +30,7 @@
 	return NewFleet(m, model.Quota{MilliCores: n * 16000, MemoryMiB: n * 32768})
 }
 
-func contract(instances, spare int, covers model.Domain) model.Contract {
+func contract(instances, spare int, covers model.FailureDomain) model.Contract {
 	return model.Contract{
 		Customer: "pruefkette", Covers: covers, Spare: spare, SparePool: "portal", MaxUnavailable: 4, RetryPercent: 10,
 		Pools: []model.PoolShare{{Pool: "logs", Instances: instances}},
@@ -162,7 +162,7 @@
 			clear(count)
 			broken = 0
 			for k := range 300 {
-				c := contract(1+k%60, k%13, model.Domain(k%3))
+				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
 				v := Judge(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Question{Contract: c, Fleet: f})
 				count[v.Decision]++
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -16,7 +16,7 @@
 func BenchmarkWave(b *testing.B) {
 	for _, u := range []struct {
 		name   string
-		covers model.Domain
+		covers model.FailureDomain
 		most   int
 	}{{"pruefkette", model.DomainRack, 4}, {"pomar-alto", model.DomainZone, 3}} {
 		benchWave(b, u.name+"/full-speed", FullSpeed{}, u.covers, u.most)
@@ -25,7 +25,7 @@
 	}
 }
 
-func benchWave[P Pacer](b *testing.B, name string, p P, covers model.Domain, most int) {
+func benchWave[P Pacer](b *testing.B, name string, p P, covers model.FailureDomain, most int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 10
 		var minutes, absent, felt, violations, missed, taken float64
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -53,7 +53,7 @@
 func TestWavesUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 18).Draw(t, "n")
-		covers := model.Domain(rapid.IntRange(0, 2).Draw(t, "covers"))
+		covers := model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers"))
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, rapid.IntRange(1, 2).Draw(t, "per"), covers, rapid.IntRange(0, 4).Draw(t, "most"))
 		if rapid.Bool().Draw(t, "shared") {
 			// A customer of its own on a pool that another one holds too.
@@ -100,7 +100,7 @@
 func TestFeasibleDeadlinesAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "n")
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.Domain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := w.declare(1)
 		late := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now).Late
 		assert.Equal(t, len(late), 1)
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -32,7 +32,7 @@
 	late       map[string]clock.Millis
 }
 
-func newWorld(seed uint64, n, zones, pools, perContract int, covers model.Domain, most int) *world {
+func newWorld(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, most int) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: clock.Day, inst: map[model.InstanceID]model.Instance{},
 		seen: map[model.InstanceID]Seen{}, ready: map[model.InstanceID]clock.Millis{},
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -26,12 +26,12 @@
 // Version is the log index of the change that last altered an object.
 type Version uint64
 
-// Domain is a kind of failure domain.
-type Domain int
+// FailureDomain is a kind of failure domain.
+type FailureDomain int
 
 // The failure domains, from the smallest to the largest.
 const (
-	DomainInstance Domain = iota
+	DomainInstance FailureDomain = iota
 	DomainRack
 	DomainZone
 )
@@ -39,7 +39,7 @@
 var domainNames = [...]string{"instance", "rack", "zone"}
 
 // String returns the name used in files and reports.
-func (d Domain) String() string {
+func (d FailureDomain) String() string {
 	if d < 0 || int(d) >= len(domainNames) {
 		return "unknown"
 	}
@@ -47,10 +47,10 @@
 }
 
 // ParseDomain returns the domain of that name; ok is false for other names.
-func ParseDomain(s string) (d Domain, ok bool) {
+func ParseDomain(s string) (d FailureDomain, ok bool) {
 	for i, n := range domainNames {
 		if n == s {
-			return Domain(i), true
+			return FailureDomain(i), true
 		}
 	}
 	return 0, false
@@ -64,7 +64,7 @@
 	Version Version
 	// Covers is the largest failure domain whose loss leaves the capacity
 	// whole.
-	Covers Domain
+	Covers FailureDomain
 	// Pools lists the capacity promised, by pool; names are unique.
 	Pools []PoolShare
 	// Concurrency is the number of requests in flight over all entry
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -11,7 +11,7 @@
 
 var fleets = []struct {
 	name   string
-	covers model.Domain
+	covers model.FailureDomain
 	sizes  []int
 }{{"pruefkette", model.DomainRack, []int{8, 9, 8, 8, 9}}, {"pomar-alto", model.DomainZone, []int{8, 8, 9, 9, 8}}}
 
@@ -26,7 +26,7 @@
 	}
 }
 
-func repair[P Policy](b *testing.B, name string, p P, covers model.Domain, sizes []int) {
+func repair[P Policy](b *testing.B, name string, p P, covers model.FailureDomain, sizes []int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 20
 		var moves, idle, missing, exposed, refused float64
--- a/core/state/plan/exchange.go
+++ b/core/state/plan/exchange.go
@@ -30,7 +30,7 @@
 }
 
 // exposed returns the group and domain with the worst exposure.
-func (d *draft[P]) exposed() (g *group, kind model.Domain, name string) {
+func (d *draft[P]) exposed() (g *group, kind model.FailureDomain, name string) {
 	worst := 0
 	for _, spare := range slices.Sorted(maps.Keys(d.l.groups)) {
 		for _, k := range kinds {
@@ -43,7 +43,7 @@
 }
 
 // within reports whether a class lies in the domain.
-func (c class) within(kind model.Domain, name string) bool {
+func (c class) within(kind model.FailureDomain, name string) bool {
 	if kind == model.DomainZone {
 		return string(c.zone) == name
 	}
@@ -59,7 +59,7 @@
 // single moves a surplus instance of another group, or of none, from outside
 // the domain to the group's spare, or to its fullest pool in the domain when
 // it has no spare. The other group must not become exposed by as much.
-func (d *draft[P]) single(g *group, kind model.Domain, name, reason string) bool {
+func (d *draft[P]) single(g *group, kind model.FailureDomain, name, reason string) bool {
 	to := g.spare
 	if to == "" {
 		for _, p := range g.pools {
@@ -102,7 +102,7 @@
 // swap exchanges an instance of the group inside the domain with one of
 // another group outside it: the pair that lowers the exposure most, and of
 // equals the first.
-func (d *draft[P]) swap(g *group, kind model.Domain, name, reason string) bool {
+func (d *draft[P]) swap(g *group, kind model.FailureDomain, name, reason string) bool {
 	var in, out class
 	gain := 0
 	pools := slices.Sorted(maps.Keys(d.l.order))
@@ -130,7 +130,7 @@
 
 // partner is the class of another group outside the domain whose exchange
 // with a gains most.
-func (d *draft[P]) partner(g *group, a class, kind model.Domain, name string, pools []Pool) (best class, gain int) {
+func (d *draft[P]) partner(g *group, a class, kind model.FailureDomain, name string, pools []Pool) (best class, gain int) {
 	for _, p := range pools {
 		if d.member(g, p) {
 			continue
--- a/core/state/plan/fleet_test.go
+++ b/core/state/plan/fleet_test.go
@@ -41,7 +41,7 @@
 }
 
 // users are the contracts of both users: five pools, one of them the spare.
-func users(covers model.Domain, spare int, sizes ...int) []model.Contract {
+func users(covers model.FailureDomain, spare int, sizes ...int) []model.Contract {
 	c := model.Contract{Customer: "user", Covers: covers, Spare: spare, SparePool: "spare"}
 	for k, n := range sizes {
 		c.Pools = append(c.Pools, model.PoolShare{Pool: Pool(fmt.Sprintf("p%d", k)), Instances: n})
@@ -130,7 +130,7 @@
 func drawContracts(t *rapid.T, most int) []model.Contract {
 	var out []model.Contract
 	for k := range rapid.IntRange(1, 2).Draw(t, "customers") {
-		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%d", k)), Covers: model.Domain(rapid.IntRange(0, 2).Draw(t, "covers"))}
+		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%d", k)), Covers: model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers"))}
 		if rapid.Bool().Draw(t, "has spare") {
 			c.Spare, c.SparePool = rapid.IntRange(0, 3).Draw(t, "spare"), "spare"
 		}
--- a/core/state/plan/ledger.go
+++ b/core/state/plan/ledger.go
@@ -43,7 +43,7 @@
 type group struct {
 	spare Pool
 	// covers is the largest domain covered for each pool.
-	covers map[Pool]model.Domain
+	covers map[Pool]model.FailureDomain
 	pools  []Pool
 	// towers hold, by kind, what the loss of each domain takes away.
 	towers [3]tower
@@ -52,13 +52,13 @@
 // seat is a pool and a kind of failure domain.
 type seat struct {
 	pool Pool
-	kind model.Domain
+	kind model.FailureDomain
 }
 
 // spot is a failure domain as seen by a group.
 type spot struct {
 	pool Pool
-	kind model.Domain
+	kind model.FailureDomain
 	name string
 }
 
@@ -74,9 +74,9 @@
 }
 
 // kinds are the failure domains that hold more than one instance.
-var kinds = [...]model.Domain{model.DomainRack, model.DomainZone}
+var kinds = [...]model.FailureDomain{model.DomainRack, model.DomainZone}
 
-func nameOf(i model.Instance, kind model.Domain) string {
+func nameOf(i model.Instance, kind model.FailureDomain) string {
 	if kind == model.DomainZone {
 		return string(i.Zone)
 	}
@@ -102,7 +102,7 @@
 func (l *ledger) addContracts(contracts []model.Contract) {
 	sorted := slices.Clone(contracts)
 	slices.SortFunc(sorted, func(a, b model.Contract) int { return cmp.Compare(a.Customer, b.Customer) })
-	covers := map[Pool]model.Domain{}
+	covers := map[Pool]model.FailureDomain{}
 	for _, c := range sorted {
 		if c.SparePool != "" {
 			l.spares[c.SparePool] = true
@@ -110,7 +110,7 @@
 			l.group[c.SparePool] = c.SparePool
 		}
 		if l.groups[c.SparePool] == nil {
-			l.groups[c.SparePool] = &group{spare: c.SparePool, covers: map[Pool]model.Domain{}}
+			l.groups[c.SparePool] = &group{spare: c.SparePool, covers: map[Pool]model.FailureDomain{}}
 		}
 		for _, p := range c.Pools {
 			l.need[p.Pool] += p.Instances
@@ -247,7 +247,7 @@
 
 // part is what the loss of a domain takes from a pool beyond its surplus. All
 // instances of a spare pool count, since a lost spare replaces nothing.
-func (l *ledger) part(g *group, p Pool, kind model.Domain, name string) int {
+func (l *ledger) part(g *group, p Pool, kind model.FailureDomain, name string) int {
 	n := l.places[seat{p, kind}][name]
 	switch {
 	case p == g.spare:
@@ -262,7 +262,7 @@
 
 // missing is how many promised instances of the group are missing after the
 // loss of a domain, once the spare that is left has replaced what it can.
-func (l *ledger) missing(g *group, kind model.Domain, name string) int {
+func (l *ledger) missing(g *group, kind model.FailureDomain, name string) int {
 	n := l.part(g, g.spare, kind, name) - l.have[g.spare]
 	if g.spare == "" {
 		n = 0
@@ -276,7 +276,7 @@
 }
 
 // worst is the domain whose loss leaves most instances missing.
-func (l *ledger) worst(g *group, kind model.Domain) (n int, name string) {
+func (l *ledger) worst(g *group, kind model.FailureDomain) (n int, name string) {
 	top, name := g.towers[kind].highest()
 	if g.spare != "" {
 		top -= l.have[g.spare]
