--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -46,8 +46,8 @@
 	return domainNames[d]
 }
 
-// ParseDomain returns the domain of that name; ok is false for other names.
-func ParseDomain(s string) (d FailureDomain, ok bool) {
+// ParseFailureDomain returns the domain of that name; ok is false for other names.
+func ParseFailureDomain(s string) (d FailureDomain, ok bool) {
 	for i, n := range domainNames {
 		if n == s {
 			return FailureDomain(i), true
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -147,7 +147,7 @@
 			Section: "contract", Name: "covers", Allowed: "instance, rack, zone",
 			Meaning: "largest failure domain whose loss leaves the capacity whole",
 			set: func(c *contract, _, value string) (ok bool) {
-				c.Covers, ok = model.ParseDomain(value)
+				c.Covers, ok = model.ParseFailureDomain(value)
 				return ok
 			},
 		},
