--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -11,8 +11,8 @@
 // Measures are the three figures that operators weigh, taken from the time
 // line and the present objects.
 type Measures struct {
-	// Changes lists the contract changes in the order of their versions.
-	Changes []Rollout
+	// Rollouts lists the contract changes in the order of their versions.
+	Rollouts []Rollout
 	// Median and Worst are over the changes that are in force everywhere.
 	Median clock.Millis
 	Worst  clock.Millis
@@ -55,7 +55,7 @@
 		switch e.Kind {
 		case model.EventChange:
 			if e.Customer != "" {
-				m.Changes = append(m.Changes, rollout(o, e, events[i:]))
+				m.Rollouts = append(m.Rollouts, rollout(o, e, events[i:]))
 			}
 		case model.EventMoved:
 			m.Moves++
@@ -63,7 +63,7 @@
 			m.Maintained++
 		}
 	}
-	m.Median, m.Worst = spread(m.Changes)
+	m.Median, m.Worst = spread(m.Rollouts)
 	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
 		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
 	}
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -18,7 +18,7 @@
 func measuresText(m trail.Measures) string {
 	var b strings.Builder
 	t := newTable("MEASURE", "VALUE")
-	t.add("changes in the time line", len(m.Changes))
+	t.add("changes in the time line", len(m.Rollouts))
 	t.add("roll-out of a change, median", millisText(m.Median))
 	t.add("roll-out of a change, worst", millisText(m.Worst))
 	t.add("moves", m.Moves)
@@ -33,12 +33,12 @@
 		section(&b, "Waves", waves)
 	}
 	open := newTable("VERSION", "MISSING")
-	for _, r := range m.Changes {
+	for _, r := range m.Rollouts {
 		if len(r.Missing) > 0 {
 			open.add(r.Version, names(r.Missing))
 		}
 	}
-	if len(m.Changes) > 0 && m.Changes[len(m.Changes)-1].Missing != nil {
+	if len(m.Rollouts) > 0 && m.Rollouts[len(m.Rollouts)-1].Missing != nil {
 		section(&b, "Changes that are not in force everywhere", open)
 	}
 	return b.String()
@@ -56,7 +56,7 @@
 
 func measuresObject(m trail.Measures) object {
 	return object{
-		{"changes", list(m.Changes, func(r trail.Rollout) object {
+		{"changes", list(m.Rollouts, func(r trail.Rollout) object {
 			return object{{"version", r.Version}, {"elapsed-ms", r.Elapsed}, {"missing", names(r.Missing)}}
 		})},
 		{"roll-out-median-ms", m.Median},
