--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -13,9 +13,9 @@
 type Measures struct {
 	// Rollouts lists the contract changes in the order of their versions.
 	Rollouts []Rollout
-	// Median and Worst are over the changes that are in force everywhere.
-	Median clock.Millis
-	Worst  clock.Millis
+	// MedianRollout and Worst are over the changes that are in force everywhere.
+	MedianRollout clock.Millis
+	Worst         clock.Millis
 	// Moves is the number of instances that changed pool.
 	Moves int
 	// Maintained is the number of finished maintenances.
@@ -63,7 +63,7 @@
 			m.Maintained++
 		}
 	}
-	m.Median, m.Worst = spread(m.Rollouts)
+	m.MedianRollout, m.Worst = spread(m.Rollouts)
 	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
 		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
 	}
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -30,8 +30,8 @@
 		at(400, "c1", model.EventMaintained, 9),
 	})
 	assert.DeepEqual(t, m, Measures{
-		Rollouts: []Rollout{{Version: 5, Elapsed: 50}, {Version: 8, Missing: []model.Process{"e2"}}},
-		Median:   50, Worst: 50, Moves: 1, Maintained: 1, Idle: 1,
+		Rollouts:      []Rollout{{Version: 5, Elapsed: 50}, {Version: 8, Missing: []model.Process{"e2"}}},
+		MedianRollout: 50, Worst: 50, Moves: 1, Maintained: 1, Idle: 1,
 		Waves: []Wave{{Name: "w", Done: 1, All: 2, Elapsed: 6000}},
 	})
 }
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -19,7 +19,7 @@
 	var b strings.Builder
 	t := newTable("MEASURE", "VALUE")
 	t.add("changes in the time line", len(m.Rollouts))
-	t.add("roll-out of a change, median", millisText(m.Median))
+	t.add("roll-out of a change, median", millisText(m.MedianRollout))
 	t.add("roll-out of a change, worst", millisText(m.Worst))
 	t.add("moves", m.Moves)
 	t.add("maintained", m.Maintained)
@@ -59,7 +59,7 @@
 		{"changes", list(m.Rollouts, func(r trail.Rollout) object {
 			return object{{"version", r.Version}, {"elapsed-ms", r.Elapsed}, {"missing", names(r.Missing)}}
 		})},
-		{"roll-out-median-ms", m.Median},
+		{"roll-out-median-ms", m.MedianRollout},
 		{"roll-out-worst-ms", m.Worst},
 		{"moves", m.Moves},
 		{"maintained", m.Maintained},
