--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -14,8 +14,8 @@
 	// Rollouts lists the contract changes in the order of their versions.
 	Rollouts []Rollout
 	// MedianRollout and Worst are over the changes that are in force everywhere.
-	MedianRollout clock.Millis
-	Worst         clock.Millis
+	MedianRollout  clock.Millis
+	LongestRollout clock.Millis
 	// Moves is the number of instances that changed pool.
 	Moves int
 	// Maintained is the number of finished maintenances.
@@ -63,7 +63,7 @@
 			m.Maintained++
 		}
 	}
-	m.MedianRollout, m.Worst = spread(m.Rollouts)
+	m.MedianRollout, m.LongestRollout = spread(m.Rollouts)
 	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
 		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
 	}
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -20,7 +20,7 @@
 	t := newTable("MEASURE", "VALUE")
 	t.add("changes in the time line", len(m.Rollouts))
 	t.add("roll-out of a change, median", millisText(m.MedianRollout))
-	t.add("roll-out of a change, worst", millisText(m.Worst))
+	t.add("roll-out of a change, worst", millisText(m.LongestRollout))
 	t.add("moves", m.Moves)
 	t.add("maintained", m.Maintained)
 	t.add("idle instances", m.Idle)
@@ -60,7 +60,7 @@
 			return object{{"version", r.Version}, {"elapsed-ms", r.Elapsed}, {"missing", names(r.Missing)}}
 		})},
 		{"roll-out-median-ms", m.MedianRollout},
-		{"roll-out-worst-ms", m.Worst},
+		{"roll-out-worst-ms", m.LongestRollout},
 		{"moves", m.Moves},
 		{"maintained", m.Maintained},
 		{"waves", list(m.Waves, func(x trail.Wave) object {
