--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -18,9 +18,9 @@
 	LongestRollout clock.Millis
 	// Moves is the number of instances that changed pool.
 	Moves int
-	// Maintained is the number of finished maintenances.
-	Maintained int
-	Waves      []Wave
+	// FinishedMaintenances is the number of finished maintenances.
+	FinishedMaintenances int
+	Waves                []Wave
 	// Idle is the number of serving instances beyond what is promised: the
 	// buffer.
 	Idle int
@@ -60,7 +60,7 @@
 		case model.EventMoved:
 			m.Moves++
 		case model.EventMaintained:
-			m.Maintained++
+			m.FinishedMaintenances++
 		}
 	}
 	m.MedianRollout, m.LongestRollout = spread(m.Rollouts)
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -22,7 +22,7 @@
 	t.add("roll-out of a change, median", millisText(m.MedianRollout))
 	t.add("roll-out of a change, worst", millisText(m.LongestRollout))
 	t.add("moves", m.Moves)
-	t.add("maintained", m.Maintained)
+	t.add("maintained", m.FinishedMaintenances)
 	t.add("idle instances", m.Idle)
 	b.WriteString(t.String())
 	waves := newTable("WAVE", "DONE", "OF", "ELAPSED")
@@ -62,7 +62,7 @@
 		{"roll-out-median-ms", m.MedianRollout},
 		{"roll-out-worst-ms", m.LongestRollout},
 		{"moves", m.Moves},
-		{"maintained", m.Maintained},
+		{"maintained", m.FinishedMaintenances},
 		{"waves", list(m.Waves, func(x trail.Wave) object {
 			return object{{"wave", x.Name}, {"done", x.Done}, {"of", x.All}, {"elapsed-ms", x.Elapsed}}
 		})},
