--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -21,9 +21,9 @@
 	// FinishedMaintenances is the number of finished maintenances.
 	FinishedMaintenances int
 	Waves                []Wave
-	// Idle is the number of serving instances beyond what is promised: the
+	// IdleInstances is the number of serving instances beyond what is promised: the
 	// buffer.
-	Idle int
+	IdleInstances int
 }
 
 // Rollout is how long an accepted change took to be in force.
@@ -67,7 +67,7 @@
 	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
 		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
 	}
-	m.Idle = idle(o)
+	m.IdleInstances = idle(o)
 	return m
 }
 
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -23,7 +23,7 @@
 	t.add("roll-out of a change, worst", millisText(m.LongestRollout))
 	t.add("moves", m.Moves)
 	t.add("maintained", m.FinishedMaintenances)
-	t.add("idle instances", m.Idle)
+	t.add("idle instances", m.IdleInstances)
 	b.WriteString(t.String())
 	waves := newTable("WAVE", "DONE", "OF", "ELAPSED")
 	for _, x := range m.Waves {
@@ -66,6 +66,6 @@
 		{"waves", list(m.Waves, func(x trail.Wave) object {
 			return object{{"wave", x.Name}, {"done", x.Done}, {"of", x.All}, {"elapsed-ms", x.Elapsed}}
 		})},
-		{"idle-instances", m.Idle},
+		{"idle-instances", m.IdleInstances},
 	}
 }
