--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -39,9 +39,9 @@
 // Wave is how far a declared maintenance is.
 type Wave struct {
 	Name string
-	// Done and All count the selected instances.
-	Done int
-	All  int
+	// Maintained and All count the selected instances.
+	Maintained int
+	All        int
 	// Elapsed is the time from the declaration to the last return, or to now
 	// while instances are left.
 	Elapsed clock.Millis
@@ -113,11 +113,11 @@
 		}
 		w.All++
 		if i.Maintained >= m.Declared {
-			w.Done++
+			w.Maintained++
 			last = max(last, i.Maintained)
 		}
 	}
-	if w.Done < w.All {
+	if w.Maintained < w.All {
 		last = o.Now
 	}
 	w.Elapsed = last - m.Declared
