--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -41,7 +41,7 @@
 	Name string
 	// Maintained and All count the selected instances.
 	Maintained int
-	All        int
+	Selected   int
 	// Elapsed is the time from the declaration to the last return, or to now
 	// while instances are left.
 	Elapsed clock.Millis
@@ -111,13 +111,13 @@
 		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
 			continue
 		}
-		w.All++
+		w.Selected++
 		if i.Maintained >= m.Declared {
 			w.Maintained++
 			last = max(last, i.Maintained)
 		}
 	}
-	if w.Maintained < w.All {
+	if w.Maintained < w.Selected {
 		last = o.Now
 	}
 	w.Elapsed = last - m.Declared
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -27,7 +27,7 @@
 	b.WriteString(t.String())
 	waves := newTable("WAVE", "DONE", "OF", "ELAPSED")
 	for _, x := range m.Waves {
-		waves.add(x.Name, x.Maintained, x.All, spanText(x.Elapsed))
+		waves.add(x.Name, x.Maintained, x.Selected, spanText(x.Elapsed))
 	}
 	if len(m.Waves) > 0 {
 		section(&b, "Waves", waves)
@@ -64,7 +64,7 @@
 		{"moves", m.Moves},
 		{"maintained", m.FinishedMaintenances},
 		{"waves", list(m.Waves, func(x trail.Wave) object {
-			return object{{"wave", x.Name}, {"done", x.Maintained}, {"of", x.All}, {"elapsed-ms", x.Elapsed}}
+			return object{{"wave", x.Name}, {"done", x.Maintained}, {"of", x.Selected}, {"elapsed-ms", x.Elapsed}}
 		})},
 		{"idle-instances", m.IdleInstances},
 	}
