--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -103,8 +103,8 @@
 	Name PoolName
 	// Standby pools hold machines that are off.
 	Standby bool
-	// Guarded workers reject a start that they have no room for.
-	Guarded bool
+	// AdmissionControl workers reject a start that they have no room for.
+	AdmissionControl bool
 }
 
 // Config is the configuration in force.
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -113,7 +113,7 @@
 	}
 	w.set.SurgeMillis = 0
 	w.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
-		Version: 1, Pools: []jobs.Pool{{Name: "p", Guarded: true}},
+		Version: 1, Pools: []jobs.Pool{{Name: "p", AdmissionControl: true}},
 		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
 	}}}, w.now)
 	for n := range 4 {
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -46,7 +46,7 @@
 		o.Config = &jobs.Config{
 			Version: rapid.Uint64Range(1, 9).Draw(t, "version"), Document: []byte("{}"),
 			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", MaxAttempts: 2, Advice: jobs.AdvicePolicy{TicketValidity: 4000, BaseLatency: 50, LatencyPerWorker: 3}}},
-			Pools:  []jobs.Pool{{Name: "p", Standby: true, Guarded: true}},
+			Pools:  []jobs.Pool{{Name: "p", Standby: true, AdmissionControl: true}},
 		}
 	case jobs.OpWave:
 		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, Cap: 1, Declared: 5, Deadline: clock.Minute}
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -18,7 +18,7 @@
 		})
 	}
 	for _, p := range c.Pools {
-		w.Pools = append(w.Pools, &wirepb.JobPool{Name: text(p.Name), Standby: p.Standby, Guarded: p.Guarded})
+		w.Pools = append(w.Pools, &wirepb.JobPool{Name: text(p.Name), Standby: p.Standby, Guarded: p.AdmissionControl})
 	}
 	return w
 }
@@ -47,7 +47,7 @@
 		})
 	}
 	for _, p := range w.GetPools() {
-		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(p.GetName()), Standby: p.GetStandby(), Guarded: p.GetGuarded()})
+		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(p.GetName()), Standby: p.GetStandby(), AdmissionControl: p.GetGuarded()})
 	}
 	return c
 }
