--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -162,7 +162,7 @@
 
 func submit(path string) Call {
 	return Call{Kind: CallSubmit, Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
-		{Count: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
+		{TaskCount: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
 	}}}
 }
 
@@ -225,7 +225,7 @@
 	r := start(t, newFakeGroup())
 	ask(t, r, AnswerDone, submit("/q/a"))
 	gang := submit("/q/b")
-	gang.Job.Steps = []jobs.Step{{Count: 2, Gang: true}}
+	gang.Job.Steps = []jobs.Step{{TaskCount: 2, Gang: true}}
 	for _, c := range []struct {
 		name string
 		call Call
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -112,12 +112,12 @@
 func newOccurrence(steps []Step) Occurrence {
 	n := 0
 	for i := range steps {
-		n += steps[i].Count
+		n += steps[i].TaskCount
 	}
 	all := make([]TaskState, n)
 	o := Occurrence{Steps: make([]StepState, len(steps))}
 	for i := range steps {
-		o.Steps[i].Tasks, all = all[:steps[i].Count:steps[i].Count], all[steps[i].Count:]
+		o.Steps[i].Tasks, all = all[:steps[i].TaskCount:steps[i].TaskCount], all[steps[i].TaskCount:]
 	}
 	return o
 }
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -24,8 +24,8 @@
 // TestStatus is the table of how operations change a job's status.
 func TestStatus(t *testing.T) {
 	one, two := Task{Job: "a"}, Task{Job: "a", Step: 1}
-	steps := []Step{{Count: 1}, {Count: 1, After: []int{0}}}
-	lasting := []Step{{Count: 1, Lasting: true}}
+	steps := []Step{{TaskCount: 1}, {TaskCount: 1, After: []int{0}}}
+	lasting := []Step{{TaskCount: 1, Lasting: true}}
 	for _, c := range []struct {
 		name  string
 		steps []Step
@@ -60,7 +60,7 @@
 func TestRunNumbersGrow(t *testing.T) {
 	task := Task{Job: "a"}
 	s := New()
-	s.Apply([]Op{submitted("a", Step{Count: 1}), assigned(task, 1), ended(task, 1, HowLost), assigned(task, 1)}, 1)
+	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), assigned(task, 1), ended(task, 1, HowLost), assigned(task, 1)}, 1)
 	assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 	s.Apply([]Op{assigned(task, 2)}, 1)
 	assert.Equal(t, s.Task(task).Run, 2)
@@ -71,7 +71,7 @@
 // against one that forgets a job while its submitter may ask for it.
 func TestEndedJobsAreForgotten(t *testing.T) {
 	s := New()
-	s.Apply([]Op{submitted("a", Step{Count: 1}), {Kind: OpCancel, Task: Task{Job: "a"}}}, 1000)
+	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), {Kind: OpCancel, Task: Task{Job: "a"}}}, 1000)
 	s.Apply(nil, 1000+Retention-1)
 	assert.Assert(t, s.Jobs["a"] != nil)
 	s.Apply(nil, 1000+Retention)
@@ -85,7 +85,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
 		task := Task{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
-		s.Apply([]Op{submitted("a", Step{Count: 3}), {Kind: OpWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
+		s.Apply([]Op{submitted("a", Step{TaskCount: 3}), {Kind: OpWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
 		c := s.Clone()
 		c.Apply([]Op{assigned(task, 1), ended(task, 1, HowDone), {Kind: OpBegun, Number: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
 		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -119,9 +119,9 @@
 
 // Step is one step of a job.
 type Step struct {
-	// Count is the number of tasks; at least 1.
-	Count int
-	Need  Size
+	// TaskCount is the number of tasks; at least 1.
+	TaskCount int
+	Need      Size
 	// Estimate is a rough duration of one task.
 	Estimate clock.Millis
 	// After lists the earlier steps that must be done first.
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -162,7 +162,7 @@
 		if !slices.Contains(r.Steps[i].After, t.Step) || !r.Ready(t.Occurrence, i) {
 			continue
 		}
-		for n := r.Steps[i].Count - 1; n >= 0; n-- {
+		for n := r.Steps[i].TaskCount - 1; n >= 0; n-- {
 			b.queue(r, jobs.Task{Job: t.Job, Occurrence: t.Occurrence, Step: i, Index: n}, now)
 		}
 	}
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -13,13 +13,13 @@
 func TestExplainLimits(t *testing.T) {
 	large, apart, labelled, gang := small, small, small, crew
 	large.Need.MilliCores = 20_000
-	apart.Count, apart.PerWorker = 2, 1
+	apart.TaskCount, apart.PerWorker = 2, 1
 	labelled.Label = "gpu"
-	gang.Count = 5
+	gang.TaskCount = 5
 	second := small
 	second.After = []int{0}
 	wide := small
-	wide.Count = 17
+	wide.TaskCount = 17
 	for _, c := range []struct {
 		name  string
 		steps []jobs.Step
@@ -80,7 +80,7 @@
 func TestExplainCounts(t *testing.T) {
 	r := newRig(Defaults())
 	two := small
-	two.Count = 2
+	two.TaskCount = 2
 	r.submit("a", two)
 	r.submit("later", small)
 	r.hear("w1", 1, nil)
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -16,7 +16,7 @@
 // startGang starts all tasks of a gang at once, and reports whether it could or
 // none of them may start now.
 func (b *Board[O, J]) startGang(p *pool, g *group, now clock.Millis) bool {
-	if len(g.waiting) < g.step.Count {
+	if len(g.waiting) < g.step.TaskCount {
 		return true
 	}
 	workers := b.seats(p, g, now)
@@ -43,7 +43,7 @@
 			return workers
 		}
 	}
-	if _, rack := b.capacity(p, g, now); rack >= g.step.Count && now-g.since < g.step.Estimate {
+	if _, rack := b.capacity(p, g, now); rack >= g.step.TaskCount && now-g.since < g.step.Estimate {
 		return nil
 	}
 	return b.gather(p, g, "", now)
@@ -72,11 +72,11 @@
 		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.since < elsewhereMillis) || !b.may(w, g, now) {
 			continue
 		}
-		for range min(w.seats(w.room.Minus(w.used), g), g.step.Count-len(chosen)) {
+		for range min(w.seats(w.room.Minus(w.used), g), g.step.TaskCount-len(chosen)) {
 			chosen = append(chosen, w)
 		}
 	}
-	if len(chosen) < g.step.Count {
+	if len(chosen) < g.step.TaskCount {
 		return nil
 	}
 	return chosen
@@ -85,7 +85,7 @@
 // failedWorkers holds the workers on which tasks of the group failed last.
 func (b *Board[O, J]) failedWorkers(g *group) map[jobs.WorkerID]bool {
 	failed := map[jobs.WorkerID]bool{}
-	for n := range g.step.Count {
+	for n := range g.step.TaskCount {
 		if id, ok := b.failedOn[g.key.task(n)]; ok {
 			failed[id] = true
 		}
@@ -96,7 +96,7 @@
 // seats counts the tasks of a group that fit into room on the worker.
 func (w *worker) seats(room jobs.Size, g *group) int {
 	need, n := counted(g.step), 0
-	most := cmp.Or(g.step.PerWorker, g.step.Count)
+	most := cmp.Or(g.step.PerWorker, g.step.TaskCount)
 	for n < most && need.Fits(room) {
 		room = room.Minus(need)
 		n++
@@ -139,7 +139,7 @@
 		return false
 	}
 	whole, _ := b.capacity(p, g, now)
-	return whole >= g.step.Count
+	return whole >= g.step.TaskCount
 }
 
 // breakGang stops the other tasks of a gang when one has ended before its work
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -10,7 +10,7 @@
 )
 
 // crew is a gang whose tasks take a quarter of a worker each.
-var crew = jobs.Step{Count: 6, Need: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Saves: true}
+var crew = jobs.Step{TaskCount: 6, Need: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Saves: true}
 
 // runningOf lists the runs that a worker was ordered to start.
 func runningOf(o Orders) []Running {
@@ -129,13 +129,13 @@
 func TestSmallWorkLeavesRoomForGang(t *testing.T) {
 	r := newRig(Defaults())
 	fill := small
-	fill.Count, fill.Need.MilliCores = 16, 1000
+	fill.TaskCount, fill.Need.MilliCores = 16, 1000
 	r.submit("fill", fill)
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
 	assert.Equal(t, len(running), 16)
 	wide := crew
-	wide.Count = 4
+	wide.TaskCount = 4
 	r.submit("g", wide)
 	number := int64(0)
 	for n := range 40 {
@@ -165,8 +165,8 @@
 // the advice service has named no worker.
 func TestImpossibleGangKeepsNoRoom(t *testing.T) {
 	wide := crew
-	wide.Count = 4
-	lasting := jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
+	wide.TaskCount = 4
+	lasting := jobs.Step{TaskCount: 1, Need: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
 	for _, c := range []struct {
 		name string
 		rig  *rig
@@ -202,7 +202,7 @@
 // or will have it soon, and against one that waits although none could hold it.
 func TestGangKeepsToOneRack(t *testing.T) {
 	one := crew
-	one.Count, one.SameRack = 5, true
+	one.TaskCount, one.SameRack = 5, true
 	for _, c := range []struct {
 		name string
 		// racks are those of the workers that are heard, and busy that of one which
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -182,7 +182,7 @@
 func (b *Board[O, J]) enterOccurrence(r *jobs.Record, k int, now clock.Millis) {
 	p := b.pool(b.poolOf(r))
 	for i := range r.Steps {
-		p.arrived += ending(&r.Steps[i], r.Steps[i].Count, r.Steps[i].Estimate)
+		p.arrived += ending(&r.Steps[i], r.Steps[i].TaskCount, r.Steps[i].Estimate)
 	}
 	for i := range r.Steps {
 		if !r.Ready(k, i) {
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -178,16 +178,16 @@
 	j := jobs.Job{
 		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
-			{Count: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
-			{Count: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, After: []int{0}, Saves: true},
+			{TaskCount: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
+			{TaskCount: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, After: []int{0}, Saves: true},
 		},
 	}
 	if w.r.IntN(6) == 0 {
-		j.Steps = []jobs.Step{{Count: 3, Need: jobs.Size{MilliCores: 500, MemoryMiB: 100}, Lasting: true, MayMiss: 1}}
+		j.Steps = []jobs.Step{{TaskCount: 3, Need: jobs.Size{MilliCores: 500, MemoryMiB: 100}, Lasting: true, MayMiss: 1}}
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
-			Count: 2 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Saves: true,
+			TaskCount: 2 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Saves: true,
 			SameRack: w.r.IntN(2) == 0,
 		}
 	}
@@ -268,7 +268,7 @@
 	of := []jobs.Task{o.Task}
 	if step.Gang {
 		of = of[:0]
-		for n := range step.Count {
+		for n := range step.TaskCount {
 			of = append(of, jobs.Task{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
 		}
 	}
@@ -377,7 +377,7 @@
 	for _, x := range w.workers {
 		for t, r := range x.runs {
 			step := &w.committed.Jobs[t.Job].Steps[t.Step]
-			all := present[gangRun(t, r)] == step.Count
+			all := present[gangRun(t, r)] == step.TaskCount
 			switch {
 			case !step.Gang:
 			case all && !r.formed:
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -17,8 +17,8 @@
 	j := jobs.Job{
 		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", MaxAttempts: 2, Target: 3600, StretchPermille: 1600,
 		Steps: []jobs.Step{
-			{Count: 2, Need: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", PerWorker: 1},
-			{Count: 1, After: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
+			{TaskCount: 2, Need: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", PerWorker: 1},
+			{TaskCount: 1, After: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
 		},
 	}
 	j.Times = rapid.IntRange(0, 2).Draw(t, "times")
@@ -68,7 +68,7 @@
 // TestJobRefusals guards against jobs that could not be scheduled, or that
 // would make a process allocate without a bound.
 func TestJobRefusals(t *testing.T) {
-	step := jobs.Step{Count: 1}
+	step := jobs.Step{TaskCount: 1}
 	cases := []struct {
 		name string
 		job  jobs.Job
@@ -76,11 +76,11 @@
 		{"no id", jobs.Job{Steps: []jobs.Step{step}}},
 		{"no steps", jobs.Job{ID: "a"}},
 		{"no tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{}}}},
-		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: maxTasks + 1}}}},
+		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: maxTasks + 1}}}},
 		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, Times: maxTasks + 1}},
-		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{0}}}}},
-		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{1}}, step}}},
-		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{-1}}}}},
+		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, After: []int{0}}}}},
+		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, After: []int{1}}, step}}},
+		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, After: []int{-1}}}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -37,7 +37,7 @@
 		i = len(f.names)
 		f.names = append(f.names, name)
 		f.after = append(f.after, nil)
-		f.job.Steps = append(f.job.Steps, jobs.Step{Count: 1})
+		f.job.Steps = append(f.job.Steps, jobs.Step{TaskCount: 1})
 	}
 	return &f.job.Steps[i], &f.after[i]
 }
@@ -57,7 +57,7 @@
 func stepKeys() []Key[jobFile] {
 	const many = 1_000_000
 	return []Key[jobFile]{
-		stepInt("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.Count }),
+		stepInt("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.TaskCount }),
 		stepInt("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Need.MilliCores }),
 		stepInt("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Need.MemoryMiB }),
 		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Need.Accelerators }),
@@ -125,7 +125,7 @@
 	f := &d.value
 	total := 0
 	for i, names := range f.after {
-		total += f.job.Steps[i].Count
+		total += f.job.Steps[i].TaskCount
 		for _, n := range names {
 			before := slices.Index(f.names, n)
 			if before < 0 || before >= i {
