--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -162,7 +162,7 @@
 
 func submit(path string) Call {
 	return Call{Kind: CallSubmit, Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
-		{TaskCount: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
+		{TaskCount: 2, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
 	}}}
 }
 
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -121,7 +121,7 @@
 type Step struct {
 	// TaskCount is the number of tasks; at least 1.
 	TaskCount int
-	Need      Size
+	Resources Size
 	// Estimate is a rough duration of one task.
 	Estimate clock.Millis
 	// After lists the earlier steps that must be done first.
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -222,7 +222,7 @@
 // counted is what a task takes of a worker's room. A filler takes processor
 // time that others leave.
 func counted(s *jobs.Step) jobs.Size {
-	n := s.Need
+	n := s.Resources
 	if s.Filler {
 		n.MilliCores = 0
 	}
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -12,7 +12,7 @@
 // the one that keeps the tasks from starting: on-call engineers act on it.
 func TestExplainLimits(t *testing.T) {
 	large, apart, labelled, gang := small, small, small, crew
-	large.Need.MilliCores = 20_000
+	large.Resources.MilliCores = 20_000
 	apart.TaskCount, apart.PerWorker = 2, 1
 	labelled.Label = "gpu"
 	gang.TaskCount = 5
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -10,7 +10,7 @@
 )
 
 // crew is a gang whose tasks take a quarter of a worker each.
-var crew = jobs.Step{TaskCount: 6, Need: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Saves: true}
+var crew = jobs.Step{TaskCount: 6, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Saves: true}
 
 // runningOf lists the runs that a worker was ordered to start.
 func runningOf(o Orders) []Running {
@@ -129,7 +129,7 @@
 func TestSmallWorkLeavesRoomForGang(t *testing.T) {
 	r := newRig(Defaults())
 	fill := small
-	fill.TaskCount, fill.Need.MilliCores = 16, 1000
+	fill.TaskCount, fill.Resources.MilliCores = 16, 1000
 	r.submit("fill", fill)
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
@@ -166,7 +166,7 @@
 func TestImpossibleGangKeepsNoRoom(t *testing.T) {
 	wide := crew
 	wide.TaskCount = 4
-	lasting := jobs.Step{TaskCount: 1, Need: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
+	lasting := jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
 	for _, c := range []struct {
 		name string
 		rig  *rig
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -49,7 +49,7 @@
 		}
 		takes := 300 + clock.Millis(r.IntN(700))
 		step := jobs.Step{
-			TaskCount: 1 + r.IntN(11), Need: jobs.Size{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
+			TaskCount: 1 + r.IntN(11), Resources: jobs.Size{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
 			Estimate: takes * clock.Millis(80+r.IntN(40)) / 100,
 		}
 		all = append(all, arrival{at: at, takes: takes, job: jobs.Job{
@@ -68,7 +68,7 @@
 // work is the processor time of all tasks.
 func (a arrival) work() clock.Millis {
 	s := a.job.Steps[0]
-	return clock.Millis(s.TaskCount*s.Need.MilliCores) * a.takes / 1000
+	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * a.takes / 1000
 }
 
 // upperBound is a number of jobs that no schedule can bring to their end in
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -125,7 +125,7 @@
 	return out
 }
 
-var small = jobs.Step{TaskCount: 1, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
+var small = jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
 
 // TestLostStartIsRepeated guards against a task that waits forever because the
 // answer that ordered its start was lost.
@@ -226,7 +226,7 @@
 // count before the platform has answered.
 func TestWaveKeepsAvailability(t *testing.T) {
 	r := newRig(Defaults())
-	step := jobs.Step{TaskCount: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1}
+	step := jobs.Step{TaskCount: 2, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1}
 	r.submit("serve", step)
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
@@ -368,7 +368,7 @@
 func TestLastingTasksGetMachines(t *testing.T) {
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
-	r.submit("serve", jobs.Step{TaskCount: 3, Need: jobs.Size{MilliCores: 100, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1})
+	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Size{MilliCores: 100, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1})
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
 	r.hear("w1", 1, nil)
@@ -457,7 +457,7 @@
 func TestLateWorkGoesLast(t *testing.T) {
 	r := newRig(Defaults())
 	wide := small
-	wide.TaskCount, wide.Need.MilliCores = 4, 4000
+	wide.TaskCount, wide.Resources.MilliCores = 4, 4000
 	r.submit("old", wide)
 	r.now += 3600
 	r.submit("new", wide)
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -305,7 +305,7 @@
 	if s.Lasting || s.Filler {
 		return 0
 	}
-	return clock.Millis(tasks*s.Need.MilliCores) * each
+	return clock.Millis(tasks*s.Resources.MilliCores) * each
 }
 
 // load is the room that the worker's tasks need within a time: all of it for
@@ -344,7 +344,7 @@
 			// A lasting task holds its room for good.
 			length = clock.Second
 		}
-		sum += clock.Millis(len(g.waiting)*g.step.Need.MilliCores) * length
+		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * length
 	}
 	return sum
 }
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -178,16 +178,16 @@
 	j := jobs.Job{
 		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
-			{TaskCount: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
-			{TaskCount: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, After: []int{0}, Saves: true},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, After: []int{0}, Saves: true},
 		},
 	}
 	if w.r.IntN(6) == 0 {
-		j.Steps = []jobs.Step{{TaskCount: 3, Need: jobs.Size{MilliCores: 500, MemoryMiB: 100}, Lasting: true, MayMiss: 1}}
+		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 100}, Lasting: true, MayMiss: 1}}
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
-			TaskCount: 2 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Saves: true,
+			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Saves: true,
 			SameRack: w.r.IntN(2) == 0,
 		}
 	}
@@ -331,9 +331,9 @@
 	}
 	used := jobs.Size{}
 	for t := range x.runs {
-		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Need)
+		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
-	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Need
+	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
 	if s.Run <= x.closed[s.Task] || !need.Fits(x.room.Minus(used)) {
 		x.end(s.Task, &simRun{run: s.Run}, jobs.HowRefused)
 		return
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -67,7 +67,7 @@
 		Label: text(s.Label), DataRack: text(s.DataRack), PerWorker: int64(s.PerWorker), Copies: s.Copies,
 		Lasting: s.Lasting, Image: text(s.Image), LatencyMs: int64(s.Latency), Filler: s.Filler, MayMiss: int64(s.MayMiss),
 		Need: &wirepb.JobSize{
-			MilliCores: int64(s.Need.MilliCores), MemoryMib: int64(s.Need.MemoryMiB), Accelerators: int64(s.Need.Accelerators),
+			MilliCores: int64(s.Resources.MilliCores), MemoryMib: int64(s.Resources.MemoryMiB), Accelerators: int64(s.Resources.Accelerators),
 		},
 	}
 	for _, before := range s.After {
@@ -82,7 +82,7 @@
 		SameRack: w.GetSameRack(), Label: w.GetLabel(), DataRack: w.GetDataRack(), PerWorker: int(w.GetPerWorker()),
 		Copies: w.GetCopies(), Lasting: w.GetLasting(), Image: w.GetImage(), Latency: clock.Millis(w.GetLatencyMs()),
 		Filler: w.GetFiller(), MayMiss: int(w.GetMayMiss()),
-		Need: jobs.Size{
+		Resources: jobs.Size{
 			MilliCores: int(w.GetNeed().GetMilliCores()), MemoryMiB: int(w.GetNeed().GetMemoryMib()),
 			Accelerators: int(w.GetNeed().GetAccelerators()),
 		},
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -58,9 +58,9 @@
 	const many = 1_000_000
 	return []Key[jobFile]{
 		stepInt("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.TaskCount }),
-		stepInt("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Need.MilliCores }),
-		stepInt("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Need.MemoryMiB }),
-		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Need.Accelerators }),
+		stepInt("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
+		stepInt("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
+		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
 		stepInt("estimate-ms", "ms", 0, 366*clock.Day, "rough duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
 		stepInt("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.PerWorker }),
 		stepInt("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MayMiss }),
--- a/io/proto/conf/job_test.go
+++ b/io/proto/conf/job_test.go
@@ -43,8 +43,8 @@
 	assert.DeepEqual(t, j, jobs.Job{
 		ID: "nightly-7", Queue: "reports", Spec: "build --all", Times: 2, First: 1796382000000, Interval: 60_000,
 		Steps: []jobs.Step{
-			{TaskCount: 4, Need: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1-3", Copies: true},
-			{TaskCount: 20, Need: jobs.Size{MilliCores: 2000}, Saves: true, Gang: true, After: []int{0}},
+			{TaskCount: 4, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1-3", Copies: true},
+			{TaskCount: 20, Resources: jobs.Size{MilliCores: 2000}, Saves: true, Gang: true, After: []int{0}},
 			{TaskCount: 1, After: []int{0, 1}},
 		},
 	})
