--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -315,7 +315,7 @@
 // Ready reports whether all tasks of the steps that a step waits for are done.
 func (r *Record) Ready(occurrence, step int) bool {
 	o := &r.Occurrences[occurrence]
-	for _, before := range r.Steps[step].After {
+	for _, before := range r.Steps[step].DependsOn {
 		if o.Steps[before].Done < len(o.Steps[before].Tasks) {
 			return false
 		}
@@ -336,7 +336,7 @@
 	var longest clock.Millis
 	ends := make([]clock.Millis, len(j.Steps))
 	for i := range j.Steps {
-		for _, before := range j.Steps[i].After {
+		for _, before := range j.Steps[i].DependsOn {
 			ends[i] = max(ends[i], ends[before])
 		}
 		ends[i] += j.Steps[i].Estimate
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -24,7 +24,7 @@
 // TestStatus is the table of how operations change a job's status.
 func TestStatus(t *testing.T) {
 	one, two := Task{Job: "a"}, Task{Job: "a", Step: 1}
-	steps := []Step{{TaskCount: 1}, {TaskCount: 1, After: []int{0}}}
+	steps := []Step{{TaskCount: 1}, {TaskCount: 1, DependsOn: []int{0}}}
 	lasting := []Step{{TaskCount: 1, Lasting: true}}
 	for _, c := range []struct {
 		name  string
@@ -98,6 +98,6 @@
 // TestObjectiveChain guards against an objective that counts steps side by side
 // as if they followed on each other.
 func TestObjectiveChain(t *testing.T) {
-	j := Job{Steps: []Step{{Estimate: 100}, {Estimate: 300}, {Estimate: 50, After: []int{0}}, {Estimate: 10, After: []int{1, 2}}}}
+	j := Job{Steps: []Step{{Estimate: 100}, {Estimate: 300}, {Estimate: 50, DependsOn: []int{0}}, {Estimate: 10, DependsOn: []int{1, 2}}}}
 	assert.Equal(t, j.Chain(), clock.Millis(310))
 }
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -124,8 +124,8 @@
 	Resources Size
 	// Estimate is a rough duration of one task.
 	Estimate clock.Millis
-	// After lists the earlier steps that must be done first.
-	After []int
+	// DependsOn lists the earlier steps that must be done first.
+	DependsOn []int
 	// Saves is set when tasks make checkpoints.
 	Saves bool
 	// Gang tasks work only all together: they start at once with one run number,
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -159,7 +159,7 @@
 		return
 	}
 	for i := range r.Steps {
-		if !slices.Contains(r.Steps[i].After, t.Step) || !r.Ready(t.Occurrence, i) {
+		if !slices.Contains(r.Steps[i].DependsOn, t.Step) || !r.Ready(t.Occurrence, i) {
 			continue
 		}
 		for n := r.Steps[i].TaskCount - 1; n >= 0; n-- {
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -17,7 +17,7 @@
 	labelled.Label = "gpu"
 	gang.TaskCount = 5
 	second := small
-	second.After = []int{0}
+	second.DependsOn = []int{0}
 	wide := small
 	wide.TaskCount = 17
 	for _, c := range []struct {
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -68,7 +68,7 @@
 func TestGangEndsTogether(t *testing.T) {
 	r := newRig(Defaults())
 	after := small
-	after.After = []int{0}
+	after.DependsOn = []int{0}
 	r.submit("g", crew, after)
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -63,7 +63,7 @@
 	o := &r.Occurrences[occurrence]
 	for i := range r.Steps {
 		var end clock.Millis
-		for _, before := range r.Steps[i].After {
+		for _, before := range r.Steps[i].DependsOn {
 			end = max(end, ends[before])
 		}
 		if o.Steps[i].Done < len(o.Steps[i].Tasks) {
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -70,7 +70,7 @@
 			MilliCores: int64(s.Resources.MilliCores), MemoryMib: int64(s.Resources.MemoryMiB), Accelerators: int64(s.Resources.Accelerators),
 		},
 	}
-	for _, before := range s.After {
+	for _, before := range s.DependsOn {
 		w.After = append(w.After, int64(before))
 	}
 	return w
@@ -88,7 +88,7 @@
 		},
 	}
 	for _, before := range w.GetAfter() {
-		s.After = append(s.After, int(before))
+		s.DependsOn = append(s.DependsOn, int(before))
 	}
 	return s
 }
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -18,7 +18,7 @@
 		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", MaxAttempts: 2, Target: 3600, StretchPermille: 1600,
 		Steps: []jobs.Step{
 			{TaskCount: 2, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", PerWorker: 1},
-			{TaskCount: 1, After: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
+			{TaskCount: 1, DependsOn: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
 		},
 	}
 	j.Times = rapid.IntRange(0, 2).Draw(t, "times")
@@ -78,9 +78,9 @@
 		{"no tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{}}}},
 		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: maxTasks + 1}}}},
 		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, Times: maxTasks + 1}},
-		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, After: []int{0}}}}},
-		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, After: []int{1}}, step}}},
-		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, After: []int{-1}}}}},
+		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{0}}}}},
+		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{1}}, step}}},
+		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{-1}}}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -132,7 +132,7 @@
 				d.add("step "+f.names[i], "after", n, "no step further up has this name", join(f.names[:i]))
 				continue
 			}
-			f.job.Steps[i].After = append(f.job.Steps[i].After, before)
+			f.job.Steps[i].DependsOn = append(f.job.Steps[i].DependsOn, before)
 		}
 	}
 	if len(f.job.Steps) == 0 {
