--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -126,8 +126,8 @@
 	Estimate clock.Millis
 	// DependsOn lists the earlier steps that must be done first.
 	DependsOn []int
-	// Saves is set when tasks make checkpoints.
-	Saves bool
+	// Checkpoints is set when tasks make checkpoints.
+	Checkpoints bool
 	// Gang tasks work only all together: they start at once with one run number,
 	// end well together, and go on from one checkpoint.
 	Gang     bool
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -10,7 +10,7 @@
 )
 
 // crew is a gang whose tasks take a quarter of a worker each.
-var crew = jobs.Step{TaskCount: 6, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Saves: true}
+var crew = jobs.Step{TaskCount: 6, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Checkpoints: true}
 
 // runningOf lists the runs that a worker was ordered to start.
 func runningOf(o Orders) []Running {
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -179,7 +179,7 @@
 		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
 			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
-			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Saves: true},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
 		},
 	}
 	if w.r.IntN(6) == 0 {
@@ -187,7 +187,7 @@
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
-			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Saves: true,
+			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
 			SameRack: w.r.IntN(2) == 0,
 		}
 	}
