--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -132,8 +132,8 @@
 	// end well together, and go on from one checkpoint.
 	Gang     bool
 	SameRack bool
-	// Label must be among a worker's labels when it is not empty.
-	Label string
+	// RequiredLabel must be among a worker's labels when it is not empty.
+	RequiredLabel string
 	// DataRack is the rack near the data; empty for none.
 	DataRack string
 	// PerWorker bounds the tasks of the step on one worker; 0 for no bound.
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -14,7 +14,7 @@
 	large, apart, labelled, gang := small, small, small, crew
 	large.Resources.MilliCores = 20_000
 	apart.TaskCount, apart.PerWorker = 2, 1
-	labelled.Label = "gpu"
+	labelled.RequiredLabel = "gpu"
 	gang.TaskCount = 5
 	second := small
 	second.DependsOn = []int{0}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -158,7 +158,7 @@
 
 // labelled reports whether the worker has the label that the group requires.
 func (w *worker) labelled(g *group) bool {
-	return g.step.Label == "" || slices.Contains(w.labels, g.step.Label)
+	return g.step.RequiredLabel == "" || slices.Contains(w.labels, g.step.RequiredLabel)
 }
 
 // count is the number of the group's tasks on the worker.
