--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -136,8 +136,8 @@
 	RequiredLabel string
 	// DataRack is the rack near the data; empty for none.
 	DataRack string
-	// PerWorker bounds the tasks of the step on one worker; 0 for no bound.
-	PerWorker int
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
+	MaxPerWorker int
 	// Copies allows several runs of a task at a time.
 	Copies bool
 	// Lasting tasks run until the job is cancelled.
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -90,7 +90,7 @@
 // belongs to an earlier life of the worker, or was not accepted.
 func TestTicketIsRenewed(t *testing.T) {
 	two := small
-	two.TaskCount, two.PerWorker = 2, 1
+	two.TaskCount, two.MaxPerWorker = 2, 1
 	for _, c := range []struct {
 		name string
 		life jobs.Life
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -170,7 +170,7 @@
 		{LimitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
 		{LimitAside, func(w *worker) bool { return w.aside <= now }},
 		{LimitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
-		{LimitPerWorker, func(w *worker) bool { return g.step.PerWorker == 0 || w.count(g.key) < g.step.PerWorker }},
+		{LimitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
 		{LimitRoom, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
 	} {
 		left = slices.DeleteFunc(left, func(w *worker) bool { return !c.holds(w) })
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -13,7 +13,7 @@
 func TestExplainLimits(t *testing.T) {
 	large, apart, labelled, gang := small, small, small, crew
 	large.Resources.MilliCores = 20_000
-	apart.TaskCount, apart.PerWorker = 2, 1
+	apart.TaskCount, apart.MaxPerWorker = 2, 1
 	labelled.RequiredLabel = "gpu"
 	gang.TaskCount = 5
 	second := small
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -96,7 +96,7 @@
 // seats counts the tasks of a group that fit into room on the worker.
 func (w *worker) seats(room jobs.Size, g *group) int {
 	need, n := counted(g.step), 0
-	most := cmp.Or(g.step.PerWorker, g.step.TaskCount)
+	most := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
 	for n < most && need.Fits(room) {
 		room = room.Minus(need)
 		n++
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -145,7 +145,7 @@
 // may reports whether a present worker may run one more task of the group, room
 // aside.
 func (b *Board[O, J]) may(w *worker, g *group, now clock.Millis) bool {
-	return w.beat != nil && b.takes(w, g, now) && b.allowed(w, g, now) && (g.step.PerWorker == 0 || w.count(g.key) < g.step.PerWorker)
+	return w.beat != nil && b.takes(w, g, now) && b.allowed(w, g, now) && (g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker)
 }
 
 // takes reports whether a worker takes tasks like those of the group.
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -282,7 +282,7 @@
 	n := 0
 	for _, g := range p.groups {
 		if g.step.Lasting && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
-			each := max(g.step.PerWorker, 1)
+			each := max(g.step.MaxPerWorker, 1)
 			n = max(n, (len(g.waiting)+each-1)/each)
 		}
 	}
