--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -138,8 +138,8 @@
 	DataRack string
 	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
 	MaxPerWorker int
-	// Copies allows several runs of a task at a time.
-	Copies bool
+	// Speculative allows several runs of a task at a time.
+	Speculative bool
 	// Lasting tasks run until the job is cancelled.
 	Lasting bool
 	Image   string
