--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -255,9 +255,9 @@
 		}
 	}
 	switch {
-	case o.How == HowDone && !step.Lasting:
+	case o.How == HowDone && !step.LongRunning:
 		s.done(r, o.Task)
-	case o.How == HowFailed && !step.Lasting:
+	case o.How == HowFailed && !step.LongRunning:
 		t.Fails++
 		if t.Fails >= max(r.MaxAttempts, 1) && !r.Status.Final() {
 			s.finish(r, StatusFailed)
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -25,7 +25,7 @@
 func TestStatus(t *testing.T) {
 	one, two := Task{Job: "a"}, Task{Job: "a", Step: 1}
 	steps := []Step{{TaskCount: 1}, {TaskCount: 1, DependsOn: []int{0}}}
-	lasting := []Step{{TaskCount: 1, Lasting: true}}
+	lasting := []Step{{TaskCount: 1, LongRunning: true}}
 	for _, c := range []struct {
 		name  string
 		steps []Step
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -140,9 +140,9 @@
 	MaxPerWorker int
 	// Speculative allows several runs of a task at a time.
 	Speculative bool
-	// Lasting tasks run until the job is cancelled.
-	Lasting bool
-	Image   string
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool
+	Image       string
 	// Latency is the bound on a serving task's tail; 0 for none.
 	Latency clock.Millis
 	// Filler tasks take processor time that others leave; their share of Need
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -144,7 +144,7 @@
 			b.stopJob(rec)
 		}
 	case !current:
-	case how == jobs.HowDone && !r.step.Lasting:
+	case how == jobs.HowDone && !r.step.LongRunning:
 		b.follow(rec, r.task, now)
 	default:
 		b.queue(rec, r.task, now)
@@ -244,7 +244,7 @@
 // leave stops a lasting task on a worker that drains, so that it works
 // elsewhere before the worker ends.
 func (b *Board[O, J]) leave(w *worker, r *run, now clock.Millis) {
-	if r.step.Lasting && !r.stopping {
+	if r.step.LongRunning && !r.stopping {
 		b.stop(w, r, "its worker drains")
 	}
 }
@@ -356,7 +356,7 @@
 // else its estimate.
 func (w *worker) nextEnd(now clock.Millis) (at clock.Millis, ok bool) {
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			continue
 		}
 		e := now
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -124,7 +124,7 @@
 func (w *worker) beside() jobs.Size {
 	room := w.room
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			room = room.Minus(counted(r.step))
 		}
 	}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -166,7 +166,7 @@
 func TestImpossibleGangKeepsNoRoom(t *testing.T) {
 	wide := crew
 	wide.TaskCount = 4
-	lasting := jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
+	lasting := jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true}
 	for _, c := range []struct {
 		name string
 		rig  *rig
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -82,7 +82,7 @@
 func (Arrival) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
 
 func lasting(j *jobs.Job) bool {
-	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.Lasting })
+	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.LongRunning })
 }
 
 // pool is the waiting work and the present workers of one pool.
--- a/core/state/sched/pace.go
+++ b/core/state/sched/pace.go
@@ -87,7 +87,7 @@
 		if r.fills() {
 			fillers++
 		}
-		if r.step.Lasting && r.step.Latency > 0 && r.atWork() {
+		if r.step.LongRunning && r.step.Latency > 0 && r.atWork() {
 			worst = max(worst, r.load*1000/int(r.step.Latency))
 		}
 	}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -52,7 +52,7 @@
 func (b *Board[O, J]) watch(w *worker, now clock.Millis) {
 	for _, r := range w.runs {
 		// A filler may stand still because others leave it no processor time.
-		if r.step.Lasting || r.step.Filler || r.stopping || !r.listed || r.percent >= 100 {
+		if r.step.LongRunning || r.step.Filler || r.stopping || !r.listed || r.percent >= 100 {
 			continue
 		}
 		if now-r.moved > b.set.StallMillis+r.step.Estimate/4 {
@@ -194,7 +194,7 @@
 func (b *Board[O, J]) score(w *worker, g *group) score {
 	s := score{free: w.room.MilliCores - w.used.MilliCores, id: w.id}
 	s.near = g.step.DataRack != "" && g.step.DataRack == w.rack
-	if g.step.Lasting {
+	if g.step.LongRunning {
 		s.together = b.together(w, g)
 	}
 	return s
@@ -222,7 +222,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		if r.step.Lasting && (r.step.Filler != g.step.Filler) {
+		if r.step.LongRunning && (r.step.Filler != g.step.Filler) {
 			n += mixedWeight
 		}
 	}
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -149,7 +149,7 @@
 // serves reports whether lasting tasks run on the worker.
 func (w *worker) serves() bool {
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			return true
 		}
 	}
@@ -281,7 +281,7 @@
 func (p *pool) unplaced(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
-		if g.step.Lasting && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
+		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
 			each := max(g.step.MaxPerWorker, 1)
 			n = max(n, (len(g.waiting)+each-1)/each)
 		}
@@ -302,7 +302,7 @@
 // ending is the work of some tasks of a step that ends, in thousandths of a
 // processor times milliseconds; 0 for tasks that last or fill.
 func ending(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
-	if s.Lasting || s.Filler {
+	if s.LongRunning || s.Filler {
 		return 0
 	}
 	return clock.Millis(tasks*s.Resources.MilliCores) * each
@@ -313,7 +313,7 @@
 func (w *worker) load(now, within clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			sum += clock.Millis(counted(r.step).MilliCores)
 			continue
 		}
@@ -340,7 +340,7 @@
 			continue
 		}
 		length := g.step.Estimate
-		if g.step.Lasting {
+		if g.step.LongRunning {
 			// A lasting task holds its room for good.
 			length = clock.Second
 		}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -175,7 +175,7 @@
 	}
 	n := 0
 	for _, r := range w.runs {
-		if !r.step.Lasting {
+		if !r.step.LongRunning {
 			n++
 		}
 	}
@@ -206,7 +206,7 @@
 	recs := map[groupKey]*jobs.Record{}
 	for t, r := range w.runs {
 		switch {
-		case !r.step.Lasting:
+		case !r.step.LongRunning:
 			if !late {
 				return false
 			}
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -183,7 +183,7 @@
 		},
 	}
 	if w.r.IntN(6) == 0 {
-		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 100}, Lasting: true, MayMiss: 1}}
+		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MayMiss: 1}}
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
@@ -262,7 +262,7 @@
 // noteEnd counts what an end means for the task, or for all tasks of its gang.
 func (w *world) noteEnd(o jobs.Op) {
 	step := &w.committed.Jobs[o.Task.Job].Steps[o.Task.Step]
-	if step.Lasting {
+	if step.LongRunning {
 		return
 	}
 	of := []jobs.Task{o.Task}
@@ -419,7 +419,7 @@
 	ended := false
 	for t, r := range x.runs {
 		step := &w.committed.Jobs[t.Job].Steps[t.Step]
-		if step.Lasting || (step.Gang && !r.formed) || x.stuck || w.now-r.began < r.takes {
+		if step.LongRunning || (step.Gang && !r.formed) || x.stuck || w.now-r.began < r.takes {
 			continue
 		}
 		how := jobs.HowDone
@@ -469,7 +469,7 @@
 			percent = 0
 		}
 		h.Running = append(h.Running, Running{Task: t, Run: r.run, Percent: min(percent, 99), Saved: fmt.Sprint("s", r.run, "-", t.Index)})
-		if w.committed.Jobs[t.Job].Steps[t.Step].Lasting {
+		if w.committed.Jobs[t.Job].Steps[t.Step].LongRunning {
 			h.Running[len(h.Running)-1].Percent = 100
 		}
 	}
