--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -143,8 +143,8 @@
 	// LongRunning tasks run until the job is cancelled.
 	LongRunning bool
 	Image       string
-	// Latency is the bound on a serving task's tail; 0 for none.
-	Latency clock.Millis
+	// LatencyTarget is the bound on a serving task's tail; 0 for none.
+	LatencyTarget clock.Millis
 	// Filler tasks take processor time that others leave; their share of Need
 	// is not counted.
 	Filler bool
--- a/core/state/sched/pace.go
+++ b/core/state/sched/pace.go
@@ -87,8 +87,8 @@
 		if r.fills() {
 			fillers++
 		}
-		if r.step.LongRunning && r.step.Latency > 0 && r.atWork() {
-			worst = max(worst, r.load*1000/int(r.step.Latency))
+		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.atWork() {
+			worst = max(worst, r.load*1000/int(r.step.LatencyTarget))
 		}
 	}
 	return worst, fillers
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -20,7 +20,7 @@
 func newPaceRig(t *testing.T) (*rig, []Running) {
 	t.Helper()
 	r := newRig(Defaults())
-	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, Latency: target})
+	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
 	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, Filler: true})
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
