--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -145,9 +145,9 @@
 	Image       string
 	// LatencyTarget is the bound on a serving task's tail; 0 for none.
 	LatencyTarget clock.Millis
-	// Filler tasks take processor time that others leave; their share of Need
+	// BestEffort tasks take processor time that others leave; their share of Need
 	// is not counted.
-	Filler bool
+	BestEffort bool
 	// MayMiss is the number of lasting tasks that may be away at a time by the
 	// system's own action.
 	MayMiss int
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -223,7 +223,7 @@
 // time that others leave.
 func counted(s *jobs.Step) jobs.Size {
 	n := s.Resources
-	if s.Filler {
+	if s.BestEffort {
 		n.MilliCores = 0
 	}
 	return n
--- a/core/state/sched/pace.go
+++ b/core/state/sched/pace.go
@@ -78,7 +78,7 @@
 }
 
 // fills reports whether the run is a filling task that takes orders.
-func (r *run) fills() bool { return r.step.Filler && r.listed && !r.stopping }
+func (r *run) fills() bool { return r.step.BestEffort && r.listed && !r.stopping }
 
 // tails returns the worst tail of the serving tasks on the worker, in
 // thousandths of its target, and the number of filling tasks beside them.
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	r := newRig(Defaults())
 	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
-	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, Filler: true})
+	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
 	assert.Equal(t, len(running), 2)
@@ -116,7 +116,7 @@
 func TestSlowFillerIsNotStopped(t *testing.T) {
 	r := newRig(Defaults())
 	fill := small
-	fill.Filler = true
+	fill.BestEffort = true
 	r.submit("fill", fill)
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -52,7 +52,7 @@
 func (b *Board[O, J]) watch(w *worker, now clock.Millis) {
 	for _, r := range w.runs {
 		// A filler may stand still because others leave it no processor time.
-		if r.step.LongRunning || r.step.Filler || r.stopping || !r.listed || r.percent >= 100 {
+		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
 			continue
 		}
 		if now-r.moved > b.set.StallMillis+r.step.Estimate/4 {
@@ -222,7 +222,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		if r.step.LongRunning && (r.step.Filler != g.step.Filler) {
+		if r.step.LongRunning && (r.step.BestEffort != g.step.BestEffort) {
 			n += mixedWeight
 		}
 	}
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -302,7 +302,7 @@
 // ending is the work of some tasks of a step that ends, in thousandths of a
 // processor times milliseconds; 0 for tasks that last or fill.
 func ending(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
-	if s.LongRunning || s.Filler {
+	if s.LongRunning || s.BestEffort {
 		return 0
 	}
 	return clock.Millis(tasks*s.Resources.MilliCores) * each
@@ -336,7 +336,7 @@
 func (p *pool) work() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
-		if g.step.Filler || g.rec.Status.Final() || g.rank.Class == classLate {
+		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
 			continue
 		}
 		length := g.step.Estimate
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -70,7 +70,7 @@
 		stepFlag("same-rack", "tasks work faster in one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
 		stepFlag("copies", "several runs of a task may go on at a time", func(s *jobs.Step) *bool { return &s.Speculative }),
 		stepFlag("lasting", "tasks run until the job is cancelled", func(s *jobs.Step) *bool { return &s.LongRunning }),
-		stepFlag("filler", "tasks take processor time that others leave", func(s *jobs.Step) *bool { return &s.Filler }),
+		stepFlag("filler", "tasks take processor time that others leave", func(s *jobs.Step) *bool { return &s.BestEffort }),
 		stepText("label", "label that a worker must have", func(s *jobs.Step) *string { return &s.RequiredLabel }),
 		stepText("data-rack", "rack of the data", func(s *jobs.Step) *string { return &s.DataRack }),
 		stepText("image", "what the tasks run; tasks of one image behave alike", func(s *jobs.Step) *string { return &s.Image }),
