--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -148,9 +148,9 @@
 	// BestEffort tasks take processor time that others leave; their share of Need
 	// is not counted.
 	BestEffort bool
-	// MayMiss is the number of lasting tasks that may be away at a time by the
+	// MaxUnavailable is the number of lasting tasks that may be away at a time by the
 	// system's own action.
-	MayMiss int
+	MaxUnavailable int
 }
 
 // Job is what a submitter hands in, with the rules of its queue at that time.
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -226,7 +226,7 @@
 // count before the platform has answered.
 func TestWaveKeepsAvailability(t *testing.T) {
 	r := newRig(Defaults())
-	step := jobs.Step{TaskCount: 2, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MayMiss: 1, MaxPerWorker: 1}
+	step := jobs.Step{TaskCount: 2, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
 	r.submit("serve", step)
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
@@ -368,7 +368,7 @@
 func TestLastingTasksGetMachines(t *testing.T) {
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
-	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Size{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MayMiss: 1, MaxPerWorker: 1})
+	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Size{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
 	r.hear("w1", 1, nil)
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -210,7 +210,7 @@
 			if !late {
 				return false
 			}
-		case r.step.MayMiss > 0 && r.atWork():
+		case r.step.MaxUnavailable > 0 && r.atWork():
 			k := keyOf(t)
 			lost[k]++
 			recs[k] = r.rec
@@ -222,7 +222,7 @@
 			continue
 		}
 		missing := b.missing(rec, k)
-		if missing+n <= rec.Steps[k.step].MayMiss {
+		if missing+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
 		if missing == 0 && n > 1 {
@@ -302,9 +302,9 @@
 	if w != nil {
 		for _, t := range sortedTasks(w.runs) {
 			r := w.runs[t]
-			if r.step.MayMiss > 0 {
+			if r.step.MaxUnavailable > 0 {
 				away := b.missing(r.rec, keyOf(t))
-				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MayMiss)
+				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MaxUnavailable)
 			}
 		}
 	}
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -183,7 +183,7 @@
 		},
 	}
 	if w.r.IntN(6) == 0 {
-		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MayMiss: 1}}
+		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}}
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -65,7 +65,7 @@
 	w := &wirepb.JobStep{
 		Count: int64(s.TaskCount), EstimateMs: int64(s.Estimate), Saves: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack,
 		Label: text(s.RequiredLabel), DataRack: text(s.DataRack), PerWorker: int64(s.MaxPerWorker), Copies: s.Speculative,
-		Lasting: s.LongRunning, Image: text(s.Image), LatencyMs: int64(s.LatencyTarget), Filler: s.BestEffort, MayMiss: int64(s.MayMiss),
+		Lasting: s.LongRunning, Image: text(s.Image), LatencyMs: int64(s.LatencyTarget), Filler: s.BestEffort, MayMiss: int64(s.MaxUnavailable),
 		Need: &wirepb.JobSize{
 			MilliCores: int64(s.Resources.MilliCores), MemoryMib: int64(s.Resources.MemoryMiB), Accelerators: int64(s.Resources.Accelerators),
 		},
@@ -81,7 +81,7 @@
 		TaskCount: int(w.GetCount()), Estimate: clock.Millis(w.GetEstimateMs()), Checkpoints: w.GetSaves(), Gang: w.GetGang(),
 		SameRack: w.GetSameRack(), RequiredLabel: w.GetLabel(), DataRack: w.GetDataRack(), MaxPerWorker: int(w.GetPerWorker()),
 		Speculative: w.GetCopies(), LongRunning: w.GetLasting(), Image: w.GetImage(), LatencyTarget: clock.Millis(w.GetLatencyMs()),
-		BestEffort: w.GetFiller(), MayMiss: int(w.GetMayMiss()),
+		BestEffort: w.GetFiller(), MaxUnavailable: int(w.GetMayMiss()),
 		Resources: jobs.Size{
 			MilliCores: int(w.GetNeed().GetMilliCores()), MemoryMiB: int(w.GetNeed().GetMemoryMib()),
 			Accelerators: int(w.GetNeed().GetAccelerators()),
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -63,7 +63,7 @@
 		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
 		stepInt("estimate-ms", "ms", 0, 366*clock.Day, "rough duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
 		stepInt("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.MaxPerWorker }),
-		stepInt("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MayMiss }),
+		stepInt("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
 		stepInt("latency-ms", "ms", 0, clock.Hour, "bound on the tail of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.LatencyTarget }),
 		stepFlag("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Checkpoints }),
 		stepFlag("gang", "tasks work only all together", func(s *jobs.Step) *bool { return &s.Gang }),
