--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -77,7 +77,7 @@
 
 // NewRecord returns the record of a job of which nothing has run.
 func NewRecord(j Job, seq uint64) *Record {
-	r := &Record{Job: j, Seq: seq, Occurrences: make([]Occurrence, max(j.Times, 1))}
+	r := &Record{Job: j, Seq: seq, Occurrences: make([]Occurrence, max(j.OccurrenceCount, 1))}
 	for k := range r.Occurrences {
 		r.Occurrences[k] = newOccurrence(j.Steps)
 	}
@@ -325,7 +325,7 @@
 
 // Due returns the time from which an occurrence may start; 0 for at once.
 func (r *Record) Due(occurrence int) clock.Millis {
-	if r.Times == 0 {
+	if r.OccurrenceCount == 0 {
 		return 0
 	}
 	return r.First + clock.Millis(occurrence)*r.Interval
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -163,11 +163,11 @@
 	// Spec is passed on to workers as it is.
 	Spec  string
 	Steps []Step
-	// Times is the number of occurrences of a scheduled job, which are due at
+	// OccurrenceCount is the number of occurrences of a scheduled job, which are due at
 	// First and then each Interval; 0 for a job that runs once, at once.
-	Times    int
-	First    clock.Millis
-	Interval clock.Millis
+	OccurrenceCount int
+	First           clock.Millis
+	Interval        clock.Millis
 	// Priority, Attempts, Target and StretchPermille are the queue's.
 	Priority        int
 	MaxAttempts     int
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -21,7 +21,7 @@
 			{TaskCount: 1, DependsOn: []int{0}, Checkpoints: true, LongRunning: rapid.Bool().Draw(t, "lasting"), MaxUnavailable: 1, LatencyTarget: 40},
 		},
 	}
-	j.Times = rapid.IntRange(0, 2).Draw(t, "times")
+	j.OccurrenceCount = rapid.IntRange(0, 2).Draw(t, "times")
 	return j
 }
 
@@ -77,7 +77,7 @@
 		{"no steps", jobs.Job{ID: "a"}},
 		{"no tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{}}}},
 		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: maxTasks + 1}}}},
-		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, Times: maxTasks + 1}},
+		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, OccurrenceCount: maxTasks + 1}},
 		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{0}}}}},
 		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{1}}, step}}},
 		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{-1}}}}},
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -47,7 +47,7 @@
 		textKey("job", "id", "", nameRule, "identity of the job; a job that is handed in again under it is the same", func(f *jobFile) *jobs.ID { return &f.job.ID }),
 		textKey("job", "queue", "", nameRule, "queue of the configuration in force", func(f *jobFile) *jobs.QueueName { return &f.job.Queue }),
 		optional(textKey("job", "spec", "", specRule, "passed on to the workers as it is", func(f *jobFile) *string { return &f.job.Spec })),
-		intKey("job", "occurrences", "", "0", 0, maxTimes, "times that the steps run; 0 for once, at once", func(f *jobFile) *int { return &f.job.Times }),
+		intKey("job", "occurrences", "", "0", 0, maxTimes, "times that the steps run; 0 for once, at once", func(f *jobFile) *int { return &f.job.OccurrenceCount }),
 		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence since 1970", func(f *jobFile) *clock.Millis { return &f.job.First }),
 		intKey("job", "interval-ms", "ms", "0", 0, 366*clock.Day, "time from one occurrence to the next", func(f *jobFile) *clock.Millis { return &f.job.Interval }),
 	}, stepKeys()...)
@@ -138,7 +138,7 @@
 	if len(f.job.Steps) == 0 {
 		d.add("step "+family, "", "", "no step", "one section or more, with a key in it")
 	}
-	if total*max(f.job.Times, 1) > jobs.MaxTasks {
-		d.add("job", "", fmt.Sprint(total*max(f.job.Times, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", jobs.MaxTasks))
+	if total*max(f.job.OccurrenceCount, 1) > jobs.MaxTasks {
+		d.add("job", "", fmt.Sprint(total*max(f.job.OccurrenceCount, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", jobs.MaxTasks))
 	}
 }
