--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -328,7 +328,7 @@
 	if r.OccurrenceCount == 0 {
 		return 0
 	}
-	return r.First + clock.Millis(occurrence)*r.Interval
+	return r.FirstDue + clock.Millis(occurrence)*r.Interval
 }
 
 // Chain returns the length of the longest chain of steps by their estimates.
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -166,7 +166,7 @@
 	// OccurrenceCount is the number of occurrences of a scheduled job, which are due at
 	// First and then each Interval; 0 for a job that runs once, at once.
 	OccurrenceCount int
-	First           clock.Millis
+	FirstDue        clock.Millis
 	Interval        clock.Millis
 	// Priority, Attempts, Target and StretchPermille are the queue's.
 	Priority        int
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -192,7 +192,7 @@
 		}
 	}
 	if w.r.IntN(6) == 0 {
-		j.OccurrenceCount, j.First, j.Interval = 2, w.now+clock.Millis(w.r.IntN(2000)), 500
+		j.OccurrenceCount, j.FirstDue, j.Interval = 2, w.now+clock.Millis(w.r.IntN(2000)), 500
 	}
 	w.lead.board.Submit(j, w.now)
 	// A submitter sends again what it got no answer for.
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -48,7 +48,7 @@
 		textKey("job", "queue", "", nameRule, "queue of the configuration in force", func(f *jobFile) *jobs.QueueName { return &f.job.Queue }),
 		optional(textKey("job", "spec", "", specRule, "passed on to the workers as it is", func(f *jobFile) *string { return &f.job.Spec })),
 		intKey("job", "occurrences", "", "0", 0, maxTimes, "times that the steps run; 0 for once, at once", func(f *jobFile) *int { return &f.job.OccurrenceCount }),
-		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence since 1970", func(f *jobFile) *clock.Millis { return &f.job.First }),
+		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence since 1970", func(f *jobFile) *clock.Millis { return &f.job.FirstDue }),
 		intKey("job", "interval-ms", "ms", "0", 0, 366*clock.Day, "time from one occurrence to the next", func(f *jobFile) *clock.Millis { return &f.job.Interval }),
 	}, stepKeys()...)
 }
