--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -173,8 +173,8 @@
 	MaxAttempts     int
 	Target          clock.Millis
 	StretchPermille int
-	// Accepted is the leader's time at submission.
-	Accepted clock.Millis
+	// AcceptedAt is the leader's time at submission.
+	AcceptedAt clock.Millis
 }
 
 // Phase is the state of a task.
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -269,7 +269,7 @@
 	if b.State.Jobs[j.ID] != nil {
 		return
 	}
-	j.Accepted = max(now, b.State.Time)
+	j.AcceptedAt = max(now, b.State.Time)
 	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.Task{Job: j.ID}, Job: &j}, now)
 	rec := b.State.Jobs[j.ID]
 	b.enter(rec, now)
@@ -282,7 +282,7 @@
 func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
 	late := now - Objective(r, len(r.Occurrences)-1)
 	b.forgetAdvice(r)
-	reason := fmt.Sprintf("after %d ms", now-r.Accepted)
+	reason := fmt.Sprintf("after %d ms", now-r.AcceptedAt)
 	if late > 0 && r.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", late)
 	}
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -33,7 +33,7 @@
 
 // Objective is the latest time at which a job is on time.
 func Objective(r *jobs.Record, occurrence int) clock.Millis {
-	from := max(r.Accepted, r.Due(occurrence))
+	from := max(r.AcceptedAt, r.Due(occurrence))
 	return from + r.Target + r.Chain()*clock.Millis(r.StretchPermille)/1000
 }
 
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -19,7 +19,7 @@
 		Steps: list(j.Steps, jobStepToWire),
 		Times: int64(j.OccurrenceCount), FirstMs: int64(j.FirstDue), IntervalMs: int64(j.Interval),
 		Priority: int64(j.Priority), Attempts: int64(j.MaxAttempts),
-		TargetMs: int64(j.Target), StretchPermille: int64(j.StretchPermille), AcceptedMs: int64(j.Accepted),
+		TargetMs: int64(j.Target), StretchPermille: int64(j.StretchPermille), AcceptedMs: int64(j.AcceptedAt),
 	}
 }
 
@@ -33,7 +33,7 @@
 		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Pool: jobs.PoolName(w.GetPool()), Spec: string(w.GetSpec()),
 		OccurrenceCount: int(w.GetTimes()), FirstDue: clock.Millis(w.GetFirstMs()), Interval: clock.Millis(w.GetIntervalMs()),
 		Priority: int(w.GetPriority()), MaxAttempts: int(w.GetAttempts()),
-		Target: clock.Millis(w.GetTargetMs()), StretchPermille: int(w.GetStretchPermille()), Accepted: clock.Millis(w.GetAcceptedMs()),
+		Target: clock.Millis(w.GetTargetMs()), StretchPermille: int(w.GetStretchPermille()), AcceptedAt: clock.Millis(w.GetAcceptedMs()),
 	}
 	total := int64(0)
 	for i, s := range w.GetSteps() {
