--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -196,7 +196,7 @@
 	}
 	n := 0
 	for i := range st.Tasks {
-		n += st.Tasks[i].Fails
+		n += st.Tasks[i].Failures
 	}
 	return n
 }
@@ -205,7 +205,7 @@
 func (st *StepState) fails() int {
 	n := 0
 	for i := range st.Tasks {
-		n = max(n, st.Tasks[i].Fails)
+		n = max(n, st.Tasks[i].Failures)
 	}
 	return n
 }
@@ -228,7 +228,7 @@
 		return
 	}
 	if r.Steps[o.Task.Step].Gang {
-		t.Fails = r.stepOf(o.Task).fails()
+		t.Failures = r.stepOf(o.Task).fails()
 	}
 	t.Phase, t.Run, t.Worker, t.Life = PhaseAssigned, o.Run, o.Worker, o.Life
 	r.Started = true
@@ -258,8 +258,8 @@
 	case o.How == HowDone && !step.LongRunning:
 		s.done(r, o.Task)
 	case o.How == HowFailed && !step.LongRunning:
-		t.Fails++
-		if t.Fails >= max(r.MaxAttempts, 1) && !r.Status.Final() {
+		t.Failures++
+		if t.Failures >= max(r.MaxAttempts, 1) && !r.Status.Final() {
 			s.finish(r, StatusFailed)
 		}
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -196,9 +196,9 @@
 	// Run is the number of the latest start; it only grows, also over changes
 	// of leader, so that two starts never share a number.
 	Run int
-	// Fails counts the runs that failed; for a task of a gang those of the gang
+	// Failures counts the runs that failed; for a task of a gang those of the gang
 	// in which this task or, before its latest start, any of them failed.
-	Fails int
+	Failures int
 	// Worker and Life are set in PhaseAssigned.
 	Worker WorkerID
 	Life   Life
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -102,7 +102,7 @@
 			for _, t := range st.Tasks {
 				if t != (jobs.TaskState{}) {
 					wo.Tasks = append(wo.Tasks, &wirepb.JobTaskState{
-						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Fails),
+						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Failures),
 						Worker: text(t.Worker), Life: int64(t.Life), Saved: []byte(t.Saved),
 					})
 				}
@@ -168,7 +168,7 @@
 		tasks := r.Occurrences[k].Steps[i].Tasks
 		if at >= 0 && at < len(tasks) {
 			tasks[at] = jobs.TaskState{
-				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Fails: int(w.GetFails()),
+				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Failures: int(w.GetFails()),
 				Worker: jobs.WorkerID(w.GetWorker()), Life: jobs.Life(w.GetLife()), Saved: string(w.GetSaved()),
 			}
 			return nil
