--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -86,7 +86,7 @@
 }
 
 type beatAnswer struct {
-	reply Reply
+	reply HeartbeatReply
 	err   error
 }
 
@@ -208,19 +208,19 @@
 
 // Beat hands in a heartbeat and waits for its answer. Errors are of kind
 // not-leader, busy, unknown or stale.
-func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Beat) (Reply, error) {
+func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Beat) (HeartbeatReply, error) {
 	reply := make(chan beatAnswer, 1)
 	h.Received = r.clock.Now()
 	if !r.in.Put(input{beat: &h, reply: reply}) {
-		return Reply{}, failf("heartbeat", KindBusy, "too many inputs wait")
+		return HeartbeatReply{}, failf("heartbeat", KindBusy, "too many inputs wait")
 	}
 	select {
 	case a := <-reply:
 		return a.reply, a.err
 	case <-ctx.Done():
-		return Reply{}, failf("heartbeat", KindUnknown, "%w", ctx.Err())
+		return HeartbeatReply{}, failf("heartbeat", KindUnknown, "%w", ctx.Err())
 	case <-r.ended:
-		return Reply{}, failf("heartbeat", KindNotLeader, "the process stops")
+		return HeartbeatReply{}, failf("heartbeat", KindNotLeader, "the process stops")
 	}
 }
 
@@ -414,7 +414,7 @@
 		if !o.orders.Lease {
 			lease = 0
 		}
-		o.waiter.reply <- beatAnswer{reply: Reply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
+		o.waiter.reply <- beatAnswer{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
 	}
 	for _, a := range b.actions {
 		if !r.actions.Put(action{Action: a, term: r.term, at: now, skew: r.skew}) {
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -166,7 +166,7 @@
 	}}}
 }
 
-func beat(r *testRunner, seq int64) (Reply, error) {
+func beat(r *testRunner, seq int64) (HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	return r.Beat(ctx, sched.Beat{
@@ -182,7 +182,7 @@
 	gate := make(chan struct{})
 	g.set(func() { g.gate = gate })
 	answered := make(chan Answer, 1)
-	started := make(chan Reply, 1)
+	started := make(chan HeartbeatReply, 1)
 	go func() { answered <- r.Call(context.Background(), submit("/q/a")) }()
 	go func() {
 		reply, _ := beat(r, 1)
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -167,8 +167,8 @@
 	Reason string
 }
 
-// Reply is the answer to a heartbeat.
-type Reply struct {
+// HeartbeatReply is the answer to a heartbeat.
+type HeartbeatReply struct {
 	Orders sched.Orders
 	// Lease is the time, from the sending of the heartbeat, during which the
 	// worker may run tasks; 0 for none.
