--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -52,7 +52,7 @@
 	}
 	next := i
 	if i.Target == model.PoolNone {
-		next.Phase, next.Lost = model.PhaseRetired, 0
+		next.Phase, next.LostSince = model.PhaseRetired, 0
 		return model.InstanceStep{Base: i.Version, Instance: next}, nil
 	}
 	next.Phase = model.PhaseServing
@@ -71,21 +71,21 @@
 		if !ok || i.Phase != model.PhaseServing {
 			continue
 		}
-		if i.Lost != 0 || now-since < LossGrace || g.Silent(i.Zone, now) {
+		if i.LostSince != 0 || now-since < LossGrace || g.Silent(i.Zone, now) {
 			continue
 		}
 		next := i
-		next.Lost = now
+		next.LostSince = now
 		next.Reason = "lost: no entry process hears it"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
 	for id := range g.Fresh {
 		i, ok := t.Instances[id]
-		if !ok || i.Lost == 0 || i.Phase != model.PhaseServing {
+		if !ok || i.LostSince == 0 || i.Phase != model.PhaseServing {
 			continue
 		}
 		next := i
-		next.Lost = 0
+		next.LostSince = 0
 		next.Reason = "heard again"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -139,7 +139,7 @@
 	w.drained["e2"] = w.group.state.Version
 	delete(w.live, "i0")
 	w.run(20 * clock.Second)
-	assert.Assert(t, w.instance("i0").Lost != 0)
+	assert.Assert(t, w.instance("i0").LostSince != 0)
 	assert.Equal(t, len(w.mover.moving), 0, "a restart must not cost moves")
 	w.run(20 * clock.Second)
 	assert.Equal(t, len(w.mover.moving), 1)
@@ -202,7 +202,7 @@
 		w.mover.pass()
 	}
 	for id, i := range w.group.state.Instances {
-		assert.Assert(t, i.Lost == 0 && i.Phase == model.PhaseServing, "%s is %v", id, i)
+		assert.Assert(t, i.LostSince == 0 && i.Phase == model.PhaseServing, "%s is %v", id, i)
 	}
 }
 
@@ -232,15 +232,15 @@
 	w.run(10 * clock.Second)
 	delete(w.live, "i0")
 	w.run(10 * clock.Second)
-	assert.Assert(t, w.instance("i0").Lost != 0, "the loss was not noticed")
-	assert.Assert(t, w.instance("i1").Lost == 0, "e1 hears it")
+	assert.Assert(t, w.instance("i0").LostSince != 0, "the loss was not noticed")
+	assert.Assert(t, w.instance("i1").LostSince == 0, "e1 hears it")
 	w.live["i0"] = w.live["i1"]
 	a := w.live["i0"]
 	a.Instance = "i0"
 	w.live["i0"] = a
 	w.frozen = ""
 	w.run(3 * clock.Second)
-	assert.Assert(t, w.instance("i0").Lost == 0, "it is heard again")
+	assert.Assert(t, w.instance("i0").LostSince == 0, "it is heard again")
 }
 
 // TestThawedEntryHearsAgain guards against a loss that is declared because the
--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -65,7 +65,7 @@
 	for _, i := range d.Instances {
 		c.book.SetInstance(i, false)
 		delete(c.lost, i.ID)
-		if i.Lost != 0 {
+		if i.LostSince != 0 {
 			c.lost[i.ID] = i
 		}
 		c.dirty = true
@@ -77,7 +77,7 @@
 // waited for.
 func (c *Capacity[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
 	for id, i := range c.lost {
-		if now-i.Lost >= c.RepairAfter {
+		if now-i.LostSince >= c.RepairAfter {
 			c.book.SetInstance(i, true)
 			delete(c.lost, id)
 			c.dirty = true
@@ -92,7 +92,7 @@
 	var steps []model.InstanceStep
 	for _, m := range c.last.Moves {
 		i := t.Instances[m.Instance]
-		if i.Phase != model.PhaseServing || i.Lost != 0 {
+		if i.Phase != model.PhaseServing || i.LostSince != 0 {
 			continue
 		}
 		next := i
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -112,7 +112,7 @@
 	delete(m.rebooted, i.ID)
 	if i.Phase == model.PhaseServing {
 		m.registry.Watch(i.ID, now)
-		m.see(i.ID, keep(m.seen[i.ID], maint.Seen{LostSince: i.Lost}))
+		m.see(i.ID, keep(m.seen[i.ID], maint.Seen{LostSince: i.LostSince}))
 	}
 }
 
@@ -145,7 +145,7 @@
 		if !changed[i.Zone] || i.Phase != model.PhaseServing {
 			continue
 		}
-		s := keep(m.seen[i.ID], maint.Seen{LostSince: i.Lost})
+		s := keep(m.seen[i.ID], maint.Seen{LostSince: i.LostSince})
 		if s.LostSince == 0 && m.silent[i.Zone] {
 			s.LostSince = now
 		}
--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -187,7 +187,7 @@
 		if i.Phase == model.PhaseReleasing {
 			p = i.Target
 		}
-		if i.Lost != 0 || i.Phase == model.PhaseRetired || i.Phase == model.PhaseMaintenance {
+		if i.LostSince != 0 || i.Phase == model.PhaseRetired || i.Phase == model.PhaseMaintenance {
 			continue
 		}
 		h := of(p)
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -71,8 +71,8 @@
 	held := s.Instances[id]
 	return model.InstanceStep{Base: near(t, held.Version), Instance: model.Instance{
 		ID: id, Zone: "z", Pool: pick(t, "pool", "a", "b", held.Pool, held.Pool), Target: pick(t, "target", pools...),
-		Phase: pick(t, "phase", append(phases, held.Phase, model.PhaseServing)...),
-		Lost:  pick[clock.Millis](t, "lost", 0, 0, 1),
+		Phase:     pick(t, "phase", append(phases, held.Phase, model.PhaseServing)...),
+		LostSince: pick[clock.Millis](t, "lost", 0, 0, 1),
 	}}
 }
 
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -151,9 +151,9 @@
 	Incarnation uint64
 	// Maintained is the time of the last finished maintenance; 0 for never.
 	Maintained clock.Millis
-	// Lost is the time since which no entry process hears the instance although
+	// LostSince is the time since which no entry process hears the instance although
 	// nothing was planned; 0 while it is heard.
-	Lost clock.Millis
+	LostSince clock.Millis
 	// Out is the time since which the instance has been out of service, for
 	// planned and unplanned reasons alike; 0 while it serves.
 	Out clock.Millis
@@ -166,7 +166,7 @@
 // OutOfService reports whether the instance counts against the budgets of its
 // pool's customers.
 func (i Instance) OutOfService() bool {
-	return i.Lost != 0 || i.Phase == PhaseReleasing || i.Phase == PhaseMaintenance
+	return i.LostSince != 0 || i.Phase == PhaseReleasing || i.Phase == PhaseMaintenance
 }
 
 // Outage is a finished time that an instance spent out of service.
