--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -47,8 +47,8 @@
 	}
 	for _, i := range c.Delta.Instances {
 		b.board.SetInstance(i)
-		if i.Out != 0 {
-			b.board.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.Out})
+		if i.OutSince != 0 {
+			b.board.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.OutSince})
 		}
 	}
 	for _, o := range c.Outages {
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -63,13 +63,13 @@
 	if held.ID == "" || next.Phase != held.Phase {
 		next.Since = now
 	}
-	next.Out = held.Out
+	next.OutSince = held.OutSince
 	switch {
-	case next.OutOfService() && held.Out == 0:
-		next.Out = now
-	case !next.OutOfService() && held.Out != 0:
-		next.Out = 0
-		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.Out, To: now})
+	case next.OutOfService() && held.OutSince == 0:
+		next.OutSince = now
+	case !next.OutOfService() && held.OutSince != 0:
+		next.OutSince = 0
+		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.OutSince, To: now})
 		if over := len(s.Outages) - MaxOutages; over > 0 {
 			s.Outages = s.Outages[over:]
 		}
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -154,9 +154,9 @@
 	// LostSince is the time since which no entry process hears the instance although
 	// nothing was planned; 0 while it is heard.
 	LostSince clock.Millis
-	// Out is the time since which the instance has been out of service, for
+	// OutSince is the time since which the instance has been out of service, for
 	// planned and unplanned reasons alike; 0 while it serves.
-	Out clock.Millis
+	OutSince clock.Millis
 	// Since is the time at which the phase was entered, by the leader's
 	// clock.
 	Since   clock.Millis
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -89,7 +89,7 @@
 		MaintainedMs: int64(i.Maintained),
 		Incarnation:  i.Incarnation,
 		LostMs:       int64(i.LostSince),
-		OutMs:        int64(i.Out),
+		OutMs:        int64(i.OutSince),
 		SinceMs:      int64(i.Since),
 		Version:      uint64(i.Version),
 	}
@@ -118,7 +118,7 @@
 		Maintained:  clock.Millis(w.GetMaintainedMs()),
 		Incarnation: w.GetIncarnation(),
 		LostSince:   clock.Millis(w.GetLostMs()),
-		Out:         clock.Millis(w.GetOutMs()),
+		OutSince:    clock.Millis(w.GetOutMs()),
 		Since:       clock.Millis(w.GetSinceMs()),
 		Version:     model.Version(w.GetVersion()),
 	}, nil
