--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -46,7 +46,7 @@
 func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
 	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
 		return model.InstanceStep{}, &Wait{
-			Instance: i.ID, For: missing, Since: i.Since,
+			Instance: i.ID, For: missing, Since: i.PhaseSince,
 			Reason: "an entry process has not confirmed the release",
 		}
 	}
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -59,9 +59,9 @@
 // new leader's clock may be behind, and an outage must not end before its
 // start.
 func (s *State) account(held, next model.Instance, now clock.Millis) model.Instance {
-	next.Since = held.Since
+	next.PhaseSince = held.PhaseSince
 	if held.ID == "" || next.Phase != held.Phase {
-		next.Since = now
+		next.PhaseSince = now
 	}
 	next.OutSince = held.OutSince
 	switch {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -176,7 +176,7 @@
 	w.now += clock.Hour
 	for id, target := range map[model.InstanceID]model.Pool{"i0000": "p00", "i0001": "other"} {
 		i := w.inst[id]
-		i.Phase, i.Target, i.Since = model.PhaseReleasing, target, w.now
+		i.Phase, i.Target, i.PhaseSince = model.PhaseReleasing, target, w.now
 		w.inst[id] = i
 	}
 	plan := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now)
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -58,10 +58,10 @@
 			step.Kind, step.Done, step.Reason = StepReturn, true, "restarted and verified"
 		case it.seen.Restarted:
 			step.Kind, step.Reason = StepVerify, "announced with a higher incarnation"
-		case it.inst.Since+b.set.StuckMillis <= now:
+		case it.inst.PhaseSince+b.set.StuckMillis <= now:
 			plan.Waits = append(plan.Waits, Wait{
 				Pool: it.inst.Pool, Wave: it.wave.decl.Name, Instance: id, Limit: LimitPlatform,
-				Have: int64(now - it.inst.Since), Max: int64(b.set.StuckMillis),
+				Have: int64(now - it.inst.PhaseSince), Max: int64(b.set.StuckMillis),
 				Unblock: "the instance announces itself with a higher incarnation, or an operator declares it lost",
 			})
 		}
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -52,7 +52,7 @@
 	}
 	it.applied = true
 	b.applyOut(it)
-	stuck := it.inst.Phase == model.PhaseMaintenance && !it.seen.Verified && it.inst.Since+b.set.StuckMillis <= now
+	stuck := it.inst.Phase == model.PhaseMaintenance && !it.seen.Verified && it.inst.PhaseSince+b.set.StuckMillis <= now
 	it.tally = Tally{Instances: 1, Calls: it.seen.Calls, Failures: it.seen.Failures}
 	if stuck || it.seen.LostSince > 0 {
 		it.tally.Failed = 1
@@ -87,7 +87,7 @@
 	switch {
 	case ok:
 	case it.inst.Phase != model.PhaseServing:
-		from = it.inst.Since
+		from = it.inst.PhaseSince
 	default:
 		from = it.seen.LostSince
 	}
@@ -162,7 +162,7 @@
 	}
 	i := it.inst
 	if i.Phase == model.PhaseMaintenance && !it.seen.Verified {
-		at(i.Since + b.set.StuckMillis)
+		at(i.PhaseSince + b.set.StuckMillis)
 	}
 	if i.Maintained > 0 {
 		at(i.Maintained + b.set.CanaryMillis)
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -112,7 +112,7 @@
 // do carries out one step, as the mover would.
 func (w *world) do(s Step) {
 	i, seen := w.inst[s.Instance], w.seen[s.Instance]
-	i.Since = w.now
+	i.PhaseSince = w.now
 	minutes := func(lo, hi int) { w.ready[i.ID] = w.now + clock.Millis(lo+w.rnd.IntN(hi-lo+1))*clock.Minute }
 	switch s.Kind {
 	case StepRelease:
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -157,10 +157,10 @@
 	// OutSince is the time since which the instance has been out of service, for
 	// planned and unplanned reasons alike; 0 while it serves.
 	OutSince clock.Millis
-	// Since is the time at which the phase was entered, by the leader's
+	// PhaseSince is the time at which the phase was entered, by the leader's
 	// clock.
-	Since   clock.Millis
-	Version Version
+	PhaseSince clock.Millis
+	Version    Version
 }
 
 // OutOfService reports whether the instance counts against the budgets of its
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -166,13 +166,13 @@
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
 				blocks = append(blocks, Obstacle{
 					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
-					Since: i.Since, Advice: confirmAdvice(o, p),
+					Since: i.PhaseSince, Advice: confirmAdvice(o, p),
 				})
 			}
 		}
 	case model.PhaseMaintenance:
 		blocks = append(blocks, Obstacle{
-			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.Since,
+			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.PhaseSince,
 			Advice: instanceAdvice(ActionCheckPlatform, i.ID),
 		})
 	case model.PhaseServing:
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -90,7 +90,7 @@
 		Incarnation:  i.Incarnation,
 		LostMs:       int64(i.LostSince),
 		OutMs:        int64(i.OutSince),
-		SinceMs:      int64(i.Since),
+		SinceMs:      int64(i.PhaseSince),
 		Version:      uint64(i.Version),
 	}
 }
@@ -119,7 +119,7 @@
 		Incarnation: w.GetIncarnation(),
 		LostSince:   clock.Millis(w.GetLostMs()),
 		OutSince:    clock.Millis(w.GetOutMs()),
-		Since:       clock.Millis(w.GetSinceMs()),
+		PhaseSince:  clock.Millis(w.GetSinceMs()),
 		Version:     model.Version(w.GetVersion()),
 	}, nil
 }
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -47,7 +47,7 @@
 	if x.Instance.ID != "" {
 		t := newTable("ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "REASON")
 		i := x.Instance
-		t.add(i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.Since), i.Reason)
+		t.add(i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), i.Reason)
 		section(&b, "Present", t)
 	}
 	pools := newTable("POOL", "USE", "PROMISED", "SERVING", "RELEASING", "MAINTENANCE")
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -41,7 +41,7 @@
 		{"connections", i.Connections},
 		{"reason", i.Reason},
 		{"maintained-ms", i.Maintained},
-		{"since-ms", i.Since},
+		{"since-ms", i.PhaseSince},
 		{"version", i.Version},
 	}
 }
