--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -35,7 +35,7 @@
 		steps = append(steps, model.InstanceStep{Instance: model.Instance{
 			ID: id, Zone: a.Zone, Rack: a.Rack, Pool: a.Pool, Target: a.Pool,
 			Phase: model.PhaseServing, Slots: a.Slots, Connections: a.Connections,
-			Reason: "announced", Maintained: now,
+			Reason: "announced", MaintainedAt: now,
 		}})
 	}
 	return first(steps)
@@ -106,7 +106,7 @@
 	case maint.StepReturn:
 		next.Phase, next.Target = model.PhaseServing, i.Pool
 		if s.Done {
-			next.Maintained = now
+			next.MaintainedAt = now
 			next.Reason = "maintained: " + s.Reason
 		}
 	default:
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -256,7 +256,7 @@
 	switch {
 	case held.ID != "" && held.Pool != next.Pool:
 		return model.EventMoved
-	case held.ID != "" && next.Maintained > held.Maintained:
+	case held.ID != "" && next.MaintainedAt > held.MaintainedAt:
 		return model.EventMaintained
 	}
 	return model.EventInstance
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -189,9 +189,9 @@
 	board.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
 		for _, id := range sortedKeys(w.inst) {
-			if i := w.inst[id]; i.Maintained > 1 && w.now-i.Maintained < 25*clock.Minute {
+			if i := w.inst[id]; i.MaintainedAt > 1 && w.now-i.MaintainedAt < 25*clock.Minute {
 				s := w.seen[id]
-				if w.now-i.Maintained <= clock.Minute {
+				if w.now-i.MaintainedAt <= clock.Minute {
 					s.Calls, s.Failures = 0, 0
 				}
 				for range 8 {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -163,7 +163,7 @@
 }
 
 func maintained(i model.Instance, at clock.Millis) model.Instance {
-	i.Maintained = at
+	i.MaintainedAt = at
 	return i
 }
 
@@ -194,8 +194,8 @@
 	set.PeriodMillis, set.MarginMillis, set.GoalStart = 4*clock.Day, clock.Day, w.now
 	run(t, w, FullSpeed{}, Never{}, set, w.now+9*clock.Day, func() {
 		for _, i := range w.inst {
-			if w.now > i.Maintained+set.PeriodMillis && i.Maintained > 1 || w.now > 5*clock.Day && i.Maintained == 1 {
-				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.Maintained, w.now)
+			if w.now > i.MaintainedAt+set.PeriodMillis && i.MaintainedAt > 1 || w.now > 5*clock.Day && i.MaintainedAt == 1 {
+				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.MaintainedAt, w.now)
 			}
 		}
 	})
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -111,13 +111,13 @@
 	if w.touches(b.set, it.inst, now) || (stuck && slices.Contains(it.pending, w)) {
 		it.touched = append(it.touched, w)
 		w.touched.add(it.tally, 1)
-		w.canary = it.inst.Maintained
+		w.canary = it.inst.MaintainedAt
 	} else {
 		it.peer = append(it.peer, w)
 		w.peers.add(it.tally, 1)
 	}
-	if it.inst.Maintained > 0 && it.inst.Maintained >= w.decl.Declared && w.decl.Selector.Matches(it.inst) &&
-		it.inst.Maintained+b.set.CanaryMillis <= now {
+	if it.inst.MaintainedAt > 0 && it.inst.MaintainedAt >= w.decl.Declared && w.decl.Selector.Matches(it.inst) &&
+		it.inst.MaintainedAt+b.set.CanaryMillis <= now {
 		it.observed = append(it.observed, w)
 		w.observed++
 		if w.observed == 1 {
@@ -164,15 +164,15 @@
 	if i.Phase == model.PhaseMaintenance && !it.seen.Verified {
 		at(i.PhaseSince + b.set.StuckMillis)
 	}
-	if i.Maintained > 0 {
-		at(i.Maintained + b.set.CanaryMillis)
+	if i.MaintainedAt > 0 {
+		at(i.MaintainedAt + b.set.CanaryMillis)
 	}
 	if b.set.PeriodMillis > 0 {
 		end := b.set.periodEnd(i)
 		at(end - b.set.MarginMillis)
 		at(b.set.GoalStart)
-		if i.Maintained > 0 {
-			at(i.Maintained + b.set.ObserveMillis)
+		if i.MaintainedAt > 0 {
+			at(i.MaintainedAt + b.set.ObserveMillis)
 		}
 	}
 	for _, name := range b.names {
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -72,17 +72,17 @@
 		deadline = s.periodEnd(i)
 		return deadline, now >= deadline-s.MarginMillis || inMaintenance(i)
 	}
-	return w.decl.Deadline, i.Maintained < w.decl.Declared && w.decl.Selector.Matches(i)
+	return w.decl.Deadline, i.MaintainedAt < w.decl.Declared && w.decl.Selector.Matches(i)
 }
 
 // touches reports whether the wave maintained the instance: since its
 // declaration, or within the observed time for the periodic wave.
 func (w *wave) touches(s Settings, i model.Instance, now clock.Millis) bool {
-	if i.Maintained == 0 || i.Maintained < w.decl.Declared {
+	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.Declared {
 		return false
 	}
 	if w.periodic() {
-		return i.Maintained+s.ObserveMillis > now
+		return i.MaintainedAt+s.ObserveMillis > now
 	}
 	return w.decl.Selector.Matches(i)
 }
@@ -91,8 +91,8 @@
 // Instances that were never maintained are spread evenly by a hash of their
 // name, so that the first period does not end for all of them at once.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
-	if i.Maintained >= s.GoalStart && i.Maintained > 0 {
-		return i.Maintained + s.PeriodMillis
+	if i.MaintainedAt >= s.GoalStart && i.MaintainedAt > 0 {
+		return i.MaintainedAt + s.PeriodMillis
 	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(i.ID))
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -44,7 +44,7 @@
 		pool := model.Pool(fmt.Sprintf("p%02d", k/zones%pools))
 		w.inst[id] = model.Instance{
 			ID: id, Zone: model.Zone(fmt.Sprintf("z%02d", zone)), Pool: pool, Target: pool, Slots: 8,
-			Rack: model.Rack(fmt.Sprintf("z%02d-r%03d", zone, k/zones/4)), Maintained: 1,
+			Rack: model.Rack(fmt.Sprintf("z%02d-r%03d", zone, k/zones/4)), MaintainedAt: 1,
 		}
 		w.seen[id] = Seen{Calls: 200, Failures: int64(w.rnd.IntN(2))}
 	}
@@ -129,7 +129,7 @@
 	case StepReturn:
 		i.Phase = model.PhaseServing
 		if s.Done {
-			i.Maintained = w.now
+			i.MaintainedAt = w.now
 			if w.bad {
 				seen.Failures = seen.Calls / 4
 			}
@@ -227,7 +227,7 @@
 func (w *world) unfinished(m model.Maintenance) int {
 	n := 0
 	for _, i := range w.inst {
-		if m.Selector.Matches(i) && i.Maintained < m.Declared {
+		if m.Selector.Matches(i) && i.MaintainedAt < m.Declared {
 			n++
 		}
 	}
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -149,8 +149,8 @@
 	// Incarnation is the upstream's incarnation when the instance was handed
 	// to the platform; a higher one shows that it was rebooted.
 	Incarnation uint64
-	// Maintained is the time of the last finished maintenance; 0 for never.
-	Maintained clock.Millis
+	// MaintainedAt is the time of the last finished maintenance; 0 for never.
+	MaintainedAt clock.Millis
 	// LostSince is the time since which no entry process hears the instance although
 	// nothing was planned; 0 while it is heard.
 	LostSince clock.Millis
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -18,7 +18,7 @@
 		{ID: "i1", Zone: "a", Pool: "log", Phase: model.PhaseServing},
 		{ID: "i2", Zone: "a", Pool: "log", Target: "fees", Phase: model.PhaseReleasing, Version: 40, PhaseSince: 90_000},
 		{ID: "i3", Zone: "b", Pool: "log", Target: "log", Phase: model.PhaseMaintenance, PhaseSince: 80_000},
-		{ID: "i5", Zone: "a", Pool: "fees", Phase: model.PhaseServing, Maintained: 70_000},
+		{ID: "i5", Zone: "a", Pool: "fees", Phase: model.PhaseServing, MaintainedAt: 70_000},
 		{ID: "i4", Zone: "b", Pool: "log", Phase: model.PhaseServing},
 	} {
 		instances[i.ID] = i
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -112,9 +112,9 @@
 			continue
 		}
 		w.Selected++
-		if i.Maintained >= m.Declared {
+		if i.MaintainedAt >= m.Declared {
 			w.Maintained++
-			last = max(last, i.Maintained)
+			last = max(last, i.MaintainedAt)
 		}
 	}
 	if w.Maintained < w.Selected {
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -20,7 +20,7 @@
 		Processes: []Process{{Name: "e1"}, {Name: "e2"}},
 		Contracts: map[model.Customer]model.Contract{"acme": {Pools: []model.PoolShare{{Pool: "merge", Instances: 1}}}},
 		Instances: map[model.InstanceID]model.Instance{
-			"a": {ID: "a", Pool: "merge", Maintained: 4000}, "b": {ID: "b", Pool: "merge"}, "c": {ID: "c", Pool: "portal", LostSince: 1},
+			"a": {ID: "a", Pool: "merge", MaintainedAt: 4000}, "b": {ID: "b", Pool: "merge"}, "c": {ID: "c", Pool: "portal", LostSince: 1},
 		},
 		Maintenance: map[string]model.Maintenance{"w": {Name: "w", Declared: 3000, Selector: model.Selector{Pool: "merge"}}},
 	}
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -201,7 +201,7 @@
 	}
 	var blocks []Obstacle
 	for _, m := range sorted(o.Maintenance) {
-		if !m.Selector.Matches(i) || i.Maintained >= m.Declared {
+		if !m.Selector.Matches(i) || i.MaintainedAt >= m.Declared {
 			continue
 		}
 		blocks = append(blocks, Obstacle{
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -100,7 +100,7 @@
 	return render(w, "report instances", f, func() string {
 		t := newTable("INSTANCE", "ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "MAINTAINED", "SLOTS", "VERSION", "REASON")
 		for _, i := range picked {
-			t.add(i.ID, i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), timeText(i.Maintained), i.Slots, i.Version, i.Reason)
+			t.add(i.ID, i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), timeText(i.MaintainedAt), i.Slots, i.Version, i.Reason)
 		}
 		return t.String()
 	}, func() any { return object{{"instances", list(picked, instanceObject)}} })
@@ -120,7 +120,7 @@
 		}
 		p.selected++
 		switch {
-		case i.Maintained >= m.Declared:
+		case i.MaintainedAt >= m.Declared:
 			p.maintained++
 		case i.Phase == model.PhaseMaintenance || i.Phase == model.PhaseReleasing && i.Target == i.Pool:
 			p.underWay++
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -40,7 +40,7 @@
 		{"slots", i.Slots},
 		{"connections", i.Connections},
 		{"reason", i.Reason},
-		{"maintained-ms", i.Maintained},
+		{"maintained-ms", i.MaintainedAt},
 		{"since-ms", i.PhaseSince},
 		{"version", i.Version},
 	}
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -42,7 +42,7 @@
 		},
 		Instances: []model.Instance{
 			{ID: "i2", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Phase: model.PhaseReleasing, Slots: 8, Connections: 64, Reason: "maintenance kernel", PhaseSince: start - 5000, Version: 118},
-			{ID: "i1", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Slots: 8, Maintained: start - 1000, PhaseSince: start - 1000, Version: 101, Reason: "returned\nfrom \x1b[31mmaintenance"},
+			{ID: "i1", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Slots: 8, MaintainedAt: start - 1000, PhaseSince: start - 1000, Version: 101, Reason: "returned\nfrom \x1b[31mmaintenance"},
 		},
 		Maintenance: []model.Maintenance{
 			{Name: "kernel", Selector: model.Selector{Pool: "log", Zone: "zone-a"}, Declared: start - clock.Hour, Deadline: start - 1, Version: 90},
