--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -124,7 +124,7 @@
 	judges(b, "peers", Peers{Least: 6})
 }
 
-func judges[J Judge](b *testing.B, name string, j J) {
+func judges[J HealthPolicy](b *testing.B, name string, j J) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 10
 		var lost, found, wrong float64
--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -13,7 +13,7 @@
 
 // Placer holds the tasks and workers and decides what starts where. One duty
 // owns it.
-type Placer[F Fit, S Sizer, J Judge] struct {
+type Placer[F Fit, S Sizer, J HealthPolicy] struct {
 	fit     F
 	sizer   S
 	judge   J
@@ -103,7 +103,7 @@
 }
 
 // NewPlacer returns a board without tasks and workers.
-func NewPlacer[F Fit, S Sizer, J Judge](fit F, sizer S, judge J, set Settings) *Placer[F, S, J] {
+func NewPlacer[F Fit, S Sizer, J HealthPolicy](fit F, sizer S, judge J, set Settings) *Placer[F, S, J] {
 	set.FailMost, set.Lookahead = max(set.FailMost, 1), max(set.Lookahead, 1)
 	set.StopsPerPass, set.StopPauseMillis = max(set.StopsPerPass, 1), max(set.StopPauseMillis, 1)
 	return &Placer[F, S, J]{
--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -120,7 +120,7 @@
 
 // tick lets time pass: messages arrive, tasks advance, leases run out, and
 // workers report what they run.
-func tick[F Fit, S Sizer, J Judge](f *fake, b *Placer[F, S, J], by clock.Millis) {
+func tick[F Fit, S Sizer, J HealthPolicy](f *fake, b *Placer[F, S, J], by clock.Millis) {
 	f.now += by
 	for k := 0; k < len(f.queue); k++ {
 		if f.queue[k].at <= f.now {
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -14,10 +14,10 @@
 	Peers int
 }
 
-// Judge is the policy that says how much a run counts against its worker. A
+// HealthPolicy is the policy that says how much a run counts against its worker. A
 // worker whose sum reaches the limit is set aside; the sum never falls
 // below 0.
-type Judge interface {
+type HealthPolicy interface {
 	Weigh(Evidence) float64
 	Limit() float64
 }
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -383,7 +383,7 @@
 // judged runs 300 tasks on 12 workers, one of which fails everything it is
 // given, or with one class in four that fails everywhere. It returns the runs
 // lost to the worker and the workers that were set aside.
-func judged[J Judge](j J, seed uint64, badWorker, badClass bool) (lost int, aside []WorkerID) {
+func judged[J HealthPolicy](j J, seed uint64, badWorker, badClass bool) (lost int, aside []WorkerID) {
 	f := newFake(seed, 12)
 	b := NewPlacer(WorstFit{}, NewQuantile(90), j, Defaults())
 	f.fill(b)
