--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -106,7 +106,7 @@
 		r = NewRecord()
 		b.classes[class] = r
 	}
-	n := b.judge.Weigh(r.Evidence(w.ID, failed))
+	n := b.judge.Score(r.Evidence(w.ID, failed))
 	r.Note(w.ID, failed)
 	w.weight = max(0, w.weight+n)
 	if !failed {
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -18,15 +18,15 @@
 // worker whose sum reaches the limit is set aside; the sum never falls
 // below 0.
 type HealthPolicy interface {
-	Weigh(Evidence) float64
+	Score(Evidence) float64
 	Limit() float64
 }
 
 // Trust is the baseline: it sets no worker aside.
 type Trust struct{}
 
-// Weigh returns 0.
-func (Trust) Weigh(Evidence) float64 { return 0 }
+// Score returns 0.
+func (Trust) Score(Evidence) float64 { return 0 }
 
 // Limit is never reached.
 func (Trust) Limit() float64 { return math.Inf(1) }
@@ -36,8 +36,8 @@
 	N int
 }
 
-// Weigh counts failures; a success takes all of them back.
-func (j Streak) Weigh(e Evidence) float64 {
+// Score counts failures; a success takes all of them back.
+func (j Streak) Score(e Evidence) float64 {
 	if e.Failed {
 		return 1
 	}
@@ -58,9 +58,9 @@
 // brokenRate is the share of runs that a broken worker is taken to fail.
 const brokenRate = 0.95
 
-// Weigh returns the log of the likelihood ratio. The class's failure rate
+// Score returns the log of the likelihood ratio. The class's failure rate
 // starts at one in ten while nothing is known of it.
-func (j Peers) Weigh(e Evidence) float64 {
+func (j Peers) Score(e Evidence) float64 {
 	rate := min((float64(e.Fails)+0.5)/(float64(e.Peers)+5), brokenRate)
 	if e.Failed {
 		return math.Log(brokenRate / rate)
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -313,7 +313,7 @@
 		return
 	}
 	id := place.WorkerID(w.id)
-	w.weight = max(0, w.weight+b.judge.Weigh(rec.Evidence(id, failed)))
+	w.weight = max(0, w.weight+b.judge.Score(rec.Evidence(id, failed)))
 	rec.Note(id, failed)
 	if !failed {
 		w.streak = 0
