--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -87,7 +87,7 @@
 	for id, n := range t.blame {
 		w := b.workers[id]
 		w.weight = max(0, w.weight-n)
-		if b.aside[id] && w.weight < b.judge.Limit() {
+		if b.aside[id] && w.weight < b.judge.Threshold() {
 			b.restore(w)
 		}
 	}
@@ -118,12 +118,12 @@
 		t.blame = map[WorkerID]float64{}
 	}
 	t.blame[w.ID] += n
-	if w.weight < b.judge.Limit() || b.aside[w.ID] || (len(b.aside)+1)*100 > max(100, len(b.workers)*b.set.AsidePercent) {
+	if w.weight < b.judge.Threshold() || b.aside[w.ID] || (len(b.aside)+1)*100 > max(100, len(b.workers)*b.set.AsidePercent) {
 		return
 	}
 	b.aside[w.ID] = true
 	w.since = now
-	b.out.Aside = append(b.out.Aside, Aside{Worker: w.ID, Reason: w.reason(b.judge.Limit())})
+	b.out.Aside = append(b.out.Aside, Aside{Worker: w.ID, Reason: w.reason(b.judge.Threshold())})
 	b.due.Push(due{at: now + b.set.AsideMillis, worker: w.ID})
 	if w.hold != nil {
 		b.unhold(w)
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -19,7 +19,7 @@
 // below 0.
 type HealthPolicy interface {
 	Score(Evidence) float64
-	Limit() float64
+	Threshold() float64
 }
 
 // Trust is the baseline: it sets no worker aside.
@@ -28,8 +28,8 @@
 // Score returns 0.
 func (Trust) Score(Evidence) float64 { return 0 }
 
-// Limit is never reached.
-func (Trust) Limit() float64 { return math.Inf(1) }
+// Threshold is never reached.
+func (Trust) Threshold() float64 { return math.Inf(1) }
 
 // Streak sets a worker aside after N failures in a row, whatever they ran.
 type Streak struct {
@@ -44,8 +44,8 @@
 	return math.Inf(-1)
 }
 
-// Limit is N.
-func (j Streak) Limit() float64 { return float64(j.N) }
+// Threshold is N.
+func (j Streak) Threshold() float64 { return float64(j.N) }
 
 // Peers compares each failure with how the class fares on other workers: the
 // weight is the log of how much likelier a broken worker explains it. A class
@@ -68,8 +68,8 @@
 	return math.Log((1 - brokenRate) / max(1-rate, 1-brokenRate))
 }
 
-// Limit is Least.
-func (j Peers) Limit() float64 { return j.Least }
+// Threshold is Least.
+func (j Peers) Threshold() float64 { return j.Least }
 
 // Record is how a class of tasks fared on its latest workers.
 type Record struct {
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -89,7 +89,7 @@
 		b.prove(w, now)
 		if b.aside[w.ID] && w.since+b.set.AsideMillis <= now {
 			// One more failure sets it aside again.
-			w.weight = b.judge.Limit() / 2
+			w.weight = b.judge.Threshold() / 2
 			b.restore(w)
 		}
 	}
@@ -129,7 +129,7 @@
 	if !w.proven && len(w.tasks) >= b.set.TrialTasks {
 		return false
 	}
-	return w.weight < b.judge.Limit()/2 || len(w.tasks) == 0
+	return w.weight < b.judge.Threshold()/2 || len(w.tasks) == 0
 }
 
 // attemptsPerTerm is more than the starts of one task under one leader.
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -321,9 +321,9 @@
 	}
 	w.streak++
 	w.lastFailed = r.task.Job
-	if w.weight >= b.judge.Limit() && w.streak >= leastStreak && w.aside <= now {
+	if w.weight >= b.judge.Threshold() && w.streak >= leastStreak && w.aside <= now {
 		w.aside = now + b.set.AsideMillis
-		w.weight = b.judge.Limit() / 2
+		w.weight = b.judge.Threshold() / 2
 		b.noteRun(DecisionAside, r, w, "it fails what its peers run")
 	}
 }
