--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -9,9 +9,9 @@
 // worker.
 type Evidence struct {
 	Failed bool
-	// Tasks of the same class failed last on Fails of Peers other workers.
-	Fails int
-	Peers int
+	// Tasks of the same class failed last on FailedPeers of Peers other workers.
+	FailedPeers int
+	Peers       int
 }
 
 // HealthPolicy is the policy that says how much a run counts against its worker. A
@@ -61,7 +61,7 @@
 // Score returns the log of the likelihood ratio. The class's failure rate
 // starts at one in ten while nothing is known of it.
 func (j Peers) Score(e Evidence) float64 {
-	rate := min((float64(e.Fails)+0.5)/(float64(e.Peers)+5), brokenRate)
+	rate := min((float64(e.FailedPeers)+0.5)/(float64(e.Peers)+5), brokenRate)
 	if e.Failed {
 		return math.Log(brokenRate / rate)
 	}
@@ -109,11 +109,11 @@
 
 // Evidence describes a run on w next to the class's runs on other workers.
 func (r *Record) Evidence(w WorkerID, failed bool) Evidence {
-	e := Evidence{Failed: failed, Fails: r.fails, Peers: len(r.last)}
+	e := Evidence{Failed: failed, FailedPeers: r.fails, Peers: len(r.last)}
 	if was, ok := r.last[w]; ok {
 		e.Peers--
 		if was {
-			e.Fails--
+			e.FailedPeers--
 		}
 	}
 	return e
