--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -119,7 +119,7 @@
 // with it, how often it was set aside, and how many good workers were set
 // aside while a class of tasks failed everywhere; means over 10 seeds.
 func BenchmarkJudge(b *testing.B) {
-	judges(b, "trust", Trust{})
+	judges(b, "trust", NoQuarantine{})
 	judges(b, "streak", Streak{N: 3})
 	judges(b, "peers", Peers{Least: 6})
 }
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -22,14 +22,14 @@
 	Threshold() float64
 }
 
-// Trust is the baseline: it sets no worker aside.
-type Trust struct{}
+// NoQuarantine is the baseline: it sets no worker aside.
+type NoQuarantine struct{}
 
 // Score returns 0.
-func (Trust) Score(Evidence) float64 { return 0 }
+func (NoQuarantine) Score(Evidence) float64 { return 0 }
 
 // Threshold is never reached.
-func (Trust) Threshold() float64 { return math.Inf(1) }
+func (NoQuarantine) Threshold() float64 { return math.Inf(1) }
 
 // Streak sets a worker aside after N failures in a row, whatever they ran.
 type Streak struct {
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -135,7 +135,7 @@
 func TestQuotaHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
-		b := NewPlacer(WorstFit{}, Declared{}, Trust{}, Defaults())
+		b := NewPlacer(WorstFit{}, Declared{}, NoQuarantine{}, Defaults())
 		f.fill(b)
 		quota := rapid.IntRange(1000, 30000).Draw(t, "quota")
 		b.SetContract(teamContract(0, quota))
@@ -160,7 +160,7 @@
 // against refusals without figures.
 func TestImpossibleWorkIsRefused(t *testing.T) {
 	f := newFake(1, 3)
-	b := NewPlacer(BestFit{}, Declared{}, Trust{}, Defaults())
+	b := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.fill(b)
 	b.SetContract(teamContract(0, 20000))
 	for _, c := range []struct {
@@ -186,7 +186,7 @@
 // ladderKinds fills one worker and returns how room is made for urgent work.
 func ladderKinds(t *testing.T, most int, budget clock.Millis) (kinds []ActionKind, limit Limit) {
 	f := newFake(1, 1)
-	b := NewPlacer(BestFit{}, Declared{}, Trust{}, Defaults())
+	b := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.fill(b)
 	c := teamContract(0, 64000)
 	c.MaxUnavailable, c.BudgetMillis = most, budget
@@ -338,8 +338,8 @@
 // of the present one.
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
 	f := newFake(1, 1)
-	start := func(term int) (*Placer[BestFit, Declared, Trust], int) {
-		b := NewPlacer(BestFit{}, Declared{}, Trust{}, Defaults())
+	start := func(term int) (*Placer[BestFit, Declared, NoQuarantine], int) {
+		b := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 		f.fill(b)
 		b.SetContract(teamContract(0, 64000))
 		b.TakeOver(term, f.now)
