--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -63,7 +63,7 @@
 	clock   clock.Clock
 	storage S
 	codec   C
-	ring    *ring.Ring[input]
+	ring    *ring.Queue[input]
 	stop    chan struct{}
 	once    sync.Once
 	done    chan struct{}
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -48,7 +48,7 @@
 
 // Lender is the duty. Its ring is filled by the owner of the ledger.
 type Lender[P Peers, B Book, L Links] struct {
-	in    *ring.Ring[lend.Order]
+	in    *ring.Queue[lend.Order]
 	peers P
 	book  B
 	links L
@@ -60,11 +60,11 @@
 
 type peer struct {
 	member model.Member
-	in     *ring.Ring[lend.Order]
+	in     *ring.Queue[lend.Order]
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B Book, L Links](in *ring.Ring[lend.Order], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
+func New[P Peers, B Book, L Links](in *ring.Queue[lend.Order], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
 	d := &Lender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -47,7 +47,7 @@
 // Mover is the duty. Its methods may be called from any goroutine.
 type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
 	Parts[G, P, C, J, A, S]
-	in    *ring.Ring[input]
+	in    *ring.Queue[input]
 	done  chan struct{}
 	ended chan struct{}
 
--- a/core/coord/roster/roster.go
+++ b/core/coord/roster/roster.go
@@ -35,7 +35,7 @@
 
 type peer struct {
 	member model.Member
-	in     *ring.Ring[model.Announcement]
+	in     *ring.Queue[model.Announcement]
 }
 
 // New returns a roster for the neighbours given.
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -62,7 +62,7 @@
 	link     *uplink.Link
 	timed    *timed
 	front    *front.Front[*timed, *claim.Claimer[*peers.Leader]]
-	events   *ring.Ring[model.Event]
+	events   *ring.Queue[model.Event]
 	leaving  atomic.Bool
 }
 
