--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -230,7 +230,7 @@
 	if r.Steps[o.Task.Step].Gang {
 		t.Failures = r.stepOf(o.Task).fails()
 	}
-	t.Phase, t.Run, t.Worker, t.Life = PhaseAssigned, o.Run, o.Worker, o.Life
+	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, o.Run, o.Worker, o.Life
 	r.Started = true
 	if r.Status == StatusQueued {
 		r.Status = StatusRunning
@@ -246,7 +246,7 @@
 	if t == nil || t.Phase != PhaseAssigned || t.Run != o.Run {
 		return
 	}
-	t.Phase, t.Worker, t.Life = PhaseWaiting, "", 0
+	t.Phase, t.Worker, t.Incarnation = PhaseWaiting, "", 0
 	step := &r.Steps[o.Task.Step]
 	if o.Saved != "" {
 		t.Saved = o.Saved
@@ -273,7 +273,7 @@
 	if r.Steps[id.Step].Gang {
 		for n := range st.Tasks {
 			t := &st.Tasks[n]
-			t.Phase, t.Worker, t.Life = PhaseDone, "", 0
+			t.Phase, t.Worker, t.Incarnation = PhaseDone, "", 0
 		}
 		st.Done = len(st.Tasks)
 	} else {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -200,8 +200,8 @@
 	// in which this task or, before its latest start, any of them failed.
 	Failures int
 	// Worker and Life are set in PhaseAssigned.
-	Worker WorkerID
-	Life   Life
+	Worker      WorkerID
+	Incarnation Life
 	// Saved is the latest checkpoint; empty for none.
 	Saved string
 }
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -189,9 +189,9 @@
 			continue
 		}
 		w := b.workers[t.Worker]
-		if w == nil || w.life < t.Life {
+		if w == nil || w.life < t.Incarnation {
 			w = &worker{
-				id: t.Worker, life: t.Life, pool: r.Pool, runs: map[jobs.Task]*run{},
+				id: t.Worker, life: t.Incarnation, pool: r.Pool, runs: map[jobs.Task]*run{},
 				until: now + b.longest(), pace: unknownPace(),
 			}
 			b.workers[t.Worker] = w
