--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -214,7 +214,7 @@
 // all, and all have to start from the same one.
 func (st *StepState) save(saved string) {
 	for i := range st.Tasks {
-		st.Tasks[i].Saved = saved
+		st.Tasks[i].Checkpoint = saved
 	}
 }
 
@@ -249,7 +249,7 @@
 	t.Phase, t.Worker, t.Incarnation = PhaseWaiting, "", 0
 	step := &r.Steps[o.Task.Step]
 	if o.Saved != "" {
-		t.Saved = o.Saved
+		t.Checkpoint = o.Saved
 		if step.Gang {
 			r.stepOf(o.Task).save(o.Saved)
 		}
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -64,7 +64,7 @@
 	assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 	s.Apply([]Op{assigned(task, 2)}, 1)
 	assert.Equal(t, s.Task(task).Run, 2)
-	assert.Equal(t, s.Task(task).Saved, "c")
+	assert.Equal(t, s.Task(task).Checkpoint, "c")
 }
 
 // TestEndedJobsAreForgotten guards against a state that grows for good, and
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -202,8 +202,8 @@
 	// Worker and Life are set in PhaseAssigned.
 	Worker      WorkerID
 	Incarnation Life
-	// Saved is the latest checkpoint; empty for none.
-	Saved string
+	// Checkpoint is the latest checkpoint; empty for none.
+	Checkpoint string
 }
 
 // StepState is what is known of a step of one occurrence.
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -103,7 +103,7 @@
 				if t != (jobs.TaskState{}) {
 					wo.Tasks = append(wo.Tasks, &wirepb.JobTaskState{
 						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Failures),
-						Worker: text(t.Worker), Life: int64(t.Incarnation), Saved: []byte(t.Saved),
+						Worker: text(t.Worker), Life: int64(t.Incarnation), Saved: []byte(t.Checkpoint),
 					})
 				}
 				at++
@@ -169,7 +169,7 @@
 		if at >= 0 && at < len(tasks) {
 			tasks[at] = jobs.TaskState{
 				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Failures: int(w.GetFails()),
-				Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Life(w.GetLife()), Saved: string(w.GetSaved()),
+				Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Life(w.GetLife()), Checkpoint: string(w.GetSaved()),
 			}
 			return nil
 		}
