--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -203,7 +203,7 @@
 }
 
 func unavailable(reason string) Answer {
-	return Answer{Kind: AnswerUnavailable, Retry: comeBackMillis, Reason: reason}
+	return Answer{Kind: AnswerUnavailable, RetryAfter: comeBackMillis, Reason: reason}
 }
 
 // Beat hands in a heartbeat and waits for its answer. Errors are of kind
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -297,7 +297,7 @@
 	assert.Equal(t, r.Call(context.Background(), submit("/q/lost")).Kind, AnswerUnknown)
 	g.set(func() { g.fail = errNotLeader })
 	a := ask(t, r, AnswerUnavailable, submit("/q/refused"))
-	assert.Assert(t, a.Retry > 0)
+	assert.Assert(t, a.RetryAfter > 0)
 	g.set(func() { g.fail = nil })
 	ask(t, r, AnswerDone, Call{Kind: CallStatus, Host: "h", Path: "/q/kept"})
 	ask(t, r, AnswerNoJob, Call{Kind: CallStatus, Host: "h", Path: "/q/refused"})
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -162,9 +162,9 @@
 	Version  uint64
 	// Completed answers CallWave.
 	Completed bool
-	// Retry is when an unavailable caller may come back.
-	Retry  clock.Millis
-	Reason string
+	// RetryAfter is when an unavailable caller may come back.
+	RetryAfter clock.Millis
+	Reason     string
 }
 
 // HeartbeatReply is the answer to a heartbeat.
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -37,7 +37,7 @@
 func WorkAnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
 	w := &wirepb.WorkAnswer{
 		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Pending),
-		RetryAfterMs: int64(a.Retry), Reason: text(a.Reason), Jobs: list(a.Jobs, jobLineToWire),
+		RetryAfterMs: int64(a.RetryAfter), Reason: text(a.Reason), Jobs: list(a.Jobs, jobLineToWire),
 	}
 	if a.Report != nil {
 		w.Report = jobReportToWire(*a.Report)
@@ -57,7 +57,7 @@
 	}
 	a := runner.Answer{
 		Kind: kind, Status: status, Pending: int(w.GetPending()),
-		Retry: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
+		RetryAfter: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
 	}
 	for _, wl := range w.GetJobs() {
 		l, err := jobLineFromWire(wl)
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -137,7 +137,7 @@
 	if peers.Uncertain(err) {
 		return runner.Answer{Kind: runner.AnswerUnknown, Reason: err.Error()}
 	}
-	return runner.Answer{Kind: runner.AnswerUnavailable, Retry: pingWait, Reason: err.Error()}
+	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingWait, Reason: err.Error()}
 }
 
 // Ready reports whether new callers are welcome: the leader was reached lately
