--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -188,7 +188,7 @@
 	}
 	for id, i := range w.group.state.Instances {
 		if i.Pool == "merge" {
-			assert.Assert(t, i.MaintainedAt >= w.group.state.Maintenance["m"].Declared, "%s was not maintained", id)
+			assert.Assert(t, i.MaintainedAt >= w.group.state.Maintenance["m"].DeclaredAt, "%s was not maintained", id)
 		}
 	}
 }
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -180,7 +180,7 @@
 		return s.conflict(object, held.Version, maintenanceDiff(held, m))
 	}
 	m.Version = index
-	m.Declared = s.Time
+	m.DeclaredAt = s.Time
 	s.Maintenance[m.Name] = m
 	s.Authors[object] = Author{Name: c.Author, Version: index}
 	return model.Result{Version: index}
--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -47,7 +47,7 @@
 func countDue(f Fleet, m model.Maintenance, pools map[model.Pool]bool) int {
 	n := 0
 	for _, i := range f.Instances {
-		if pools[i.Pool] && m.Selector.Matches(i) && i.MaintainedAt < m.Declared {
+		if pools[i.Pool] && m.Selector.Matches(i) && i.MaintainedAt < m.DeclaredAt {
 			n++
 		}
 	}
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -69,14 +69,14 @@
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
 		}), Refuse, ShortInstances, 51, 50},
 		{"width", rebase(func(q *Question) {
-			q.Declarations = []model.Maintenance{{Name: "m", Declared: 1, Deadline: 2 * clock.Hour}}
+			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
 		}), AcceptShort, ShortWidth, 50, 24},
 		{"budget", rebase(func(q *Question) {
 			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
 		}), AcceptShort, ShortBudget, 50, 12},
 		{"shared", rebase(func(q *Question) {
 			q.Contract.Pools[0].Instances = 40
-			q.Declarations = []model.Maintenance{{Name: "m", Declared: 1, Deadline: clock.Day}}
+			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
 		}), AcceptShort, ShortWidth, 42, 0},
 		{"quota", rebase(func(q *Question) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -37,7 +37,7 @@
 				m := w.declare(8 * clock.Hour)
 				board := NewBoard(p, Score{Z: 4, Least: 3}, quick())
 				board.Load(w.input())
-				for w.unfinished(m) > 0 && w.now < m.Declared+3*clock.Day {
+				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
 					out := w.peak()
 					tell(w, board)
 					for _, s := range board.Pass(w.now).Steps {
@@ -50,7 +50,7 @@
 					felt += float64(out.excess)
 					w.advance()
 				}
-				minutes += float64((w.now - m.Declared) / clock.Minute)
+				minutes += float64((w.now - m.DeclaredAt) / clock.Minute)
 				violations += float64(len(w.violations))
 				if w.now > m.Deadline {
 					missed++
@@ -101,7 +101,7 @@
 			})
 			b.Run(fmt.Sprintf("%s-wave/%d", name, size.n), func(b *testing.B) {
 				w := newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
-				w.decls = []model.Maintenance{{Name: "firmware", Declared: 100 * clock.Day, Deadline: 110 * clock.Day}}
+				w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: 100 * clock.Day, Deadline: 110 * clock.Day}}
 				passes(b, w, scan)
 			})
 		}
@@ -169,7 +169,7 @@
 		for b.Loop() {
 			touched, wrong = 0, 0
 			for seed := range uint64(20) {
-				touched += 50 - float64(judgedRun(j, seed, true).unfinished(model.Maintenance{Declared: clock.Day}))
+				touched += 50 - float64(judgedRun(j, seed, true).unfinished(model.Maintenance{DeclaredAt: clock.Day}))
 				if judgedRun(j, seed, false).stopped {
 					wrong++
 				}
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -87,7 +87,7 @@
 		wakes:    map[string]clock.Millis{},
 	}
 	if set.PeriodMillis > 0 {
-		b.SetDeclaration(model.Maintenance{Name: Periodic, Declared: set.GoalStart})
+		b.SetDeclaration(model.Maintenance{Name: Periodic, DeclaredAt: set.GoalStart})
 	}
 	return b
 }
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -37,7 +37,7 @@
 // always at the last moment at which a maintenance could still be started.
 func (b *Board[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.late = nil
-	if len(w.pending) == 0 && w.decl.Declared <= now {
+	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
 		return 0
 	}
 	covered := map[model.Pool]bool{}
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -17,7 +17,7 @@
 }
 
 func (w *world) declare(deadline clock.Millis) model.Maintenance {
-	m := model.Maintenance{Name: "firmware", Declared: w.now, Deadline: w.now + deadline}
+	m := model.Maintenance{Name: "firmware", DeclaredAt: w.now, Deadline: w.now + deadline}
 	w.decls = append(w.decls, m)
 	return m
 }
@@ -143,7 +143,7 @@
 	w := newWorld(3, 30, 3, 1, 1, model.DomainZone, 6)
 	w.inst["i0000"] = maintained(w.inst["i0000"], w.now)
 	w.now += clock.Hour
-	w.decls = []model.Maintenance{{Name: "firmware", Declared: clock.Day, Deadline: 9 * clock.Day}}
+	w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
 	releases := func(p int) (int, Plan) {
 		w.pressure["c00"] = p
 		plan := Decide(Deadline{Slow: 50, Halt: 200}, Never{}, quick(), w.input(), w.now)
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -116,7 +116,7 @@
 		it.peer = append(it.peer, w)
 		w.peers.add(it.tally, 1)
 	}
-	if it.inst.MaintainedAt > 0 && it.inst.MaintainedAt >= w.decl.Declared && w.decl.Selector.Matches(it.inst) &&
+	if it.inst.MaintainedAt > 0 && it.inst.MaintainedAt >= w.decl.DeclaredAt && w.decl.Selector.Matches(it.inst) &&
 		it.inst.MaintainedAt+b.set.CanaryMillis <= now {
 		it.observed = append(it.observed, w)
 		w.observed++
@@ -176,7 +176,7 @@
 		}
 	}
 	for _, name := range b.names {
-		at(b.waves[name].decl.Declared)
+		at(b.waves[name].decl.DeclaredAt)
 	}
 	return next
 }
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -65,20 +65,20 @@
 // wants reports whether the wave still has to maintain the instance, and by
 // when. The periodic wave wants an instance from its margin on.
 func (w *wave) wants(s Settings, i model.Instance, now clock.Millis) (deadline clock.Millis, ok bool) {
-	if i.Phase == model.PhaseRetired || w.decl.Declared > now {
+	if i.Phase == model.PhaseRetired || w.decl.DeclaredAt > now {
 		return 0, false
 	}
 	if w.periodic() {
 		deadline = s.periodEnd(i)
 		return deadline, now >= deadline-s.MarginMillis || inMaintenance(i)
 	}
-	return w.decl.Deadline, i.MaintainedAt < w.decl.Declared && w.decl.Selector.Matches(i)
+	return w.decl.Deadline, i.MaintainedAt < w.decl.DeclaredAt && w.decl.Selector.Matches(i)
 }
 
 // touches reports whether the wave maintained the instance: since its
 // declaration, or within the observed time for the periodic wave.
 func (w *wave) touches(s Settings, i model.Instance, now clock.Millis) bool {
-	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.Declared {
+	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.DeclaredAt {
 		return false
 	}
 	if w.periodic() {
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -227,7 +227,7 @@
 func (w *world) unfinished(m model.Maintenance) int {
 	n := 0
 	for _, i := range w.inst {
-		if m.Selector.Matches(i) && i.MaintainedAt < m.Declared {
+		if m.Selector.Matches(i) && i.MaintainedAt < m.DeclaredAt {
 			n++
 		}
 	}
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -204,11 +204,11 @@
 // Maintenance is a declaration that the selected instances must be maintained
 // by a deadline.
 type Maintenance struct {
-	Name     string
-	Selector Selector
-	Declared clock.Millis
-	Deadline clock.Millis
-	Version  Version
+	Name       string
+	Selector   Selector
+	DeclaredAt clock.Millis
+	Deadline   clock.Millis
+	Version    Version
 }
 
 // AnnounceState is what an upstream says about itself.
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -29,7 +29,7 @@
 			"pomar": {Customer: "pomar", Pools: []model.PoolShare{{Pool: "log", Instances: 4}}, MaxUnavailable: 2},
 		},
 		Maintenance: map[string]model.Maintenance{
-			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, Declared: 70_000, Deadline: 200_000},
+			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, DeclaredAt: 70_000, Deadline: 200_000},
 		},
 		Processes: []trail.Process{
 			{Name: "e1", Zone: "a", DrainedVersion: 39, LastReport: now - clock.Second},
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -106,13 +106,13 @@
 
 func wave(o CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
-	last := m.Declared
+	last := m.DeclaredAt
 	for _, i := range o.Instances {
 		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
 			continue
 		}
 		w.Selected++
-		if i.MaintainedAt >= m.Declared {
+		if i.MaintainedAt >= m.DeclaredAt {
 			w.Maintained++
 			last = max(last, i.MaintainedAt)
 		}
@@ -120,7 +120,7 @@
 	if w.Maintained < w.Selected {
 		last = o.Now
 	}
-	w.Elapsed = last - m.Declared
+	w.Elapsed = last - m.DeclaredAt
 	return w
 }
 
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -22,7 +22,7 @@
 		Instances: map[model.InstanceID]model.Instance{
 			"a": {ID: "a", Pool: "merge", MaintainedAt: 4000}, "b": {ID: "b", Pool: "merge"}, "c": {ID: "c", Pool: "portal", LostSince: 1},
 		},
-		Maintenance: map[string]model.Maintenance{"w": {Name: "w", Declared: 3000, Selector: model.Selector{Pool: "merge"}}},
+		Maintenance: map[string]model.Maintenance{"w": {Name: "w", DeclaredAt: 3000, Selector: model.Selector{Pool: "merge"}}},
 	}
 	m := Measure(o, []model.Event{
 		at(100, "c1", model.EventChange, 5), at(130, "e1", model.EventTable, 5), at(150, "e2", model.EventTable, 6),
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -201,12 +201,12 @@
 	}
 	var blocks []Obstacle
 	for _, m := range sorted(o.Maintenance) {
-		if !m.Selector.Matches(i) || i.MaintainedAt >= m.Declared {
+		if !m.Selector.Matches(i) || i.MaintainedAt >= m.DeclaredAt {
 			continue
 		}
 		blocks = append(blocks, Obstacle{
 			Kind: ObstacleMaintenanceDue, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
-			Since: m.Declared, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
+			Since: m.DeclaredAt, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
 		})
 	}
 	if len(blocks) == 0 {
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -149,7 +149,7 @@
 	return &wirepb.Maintenance{
 		Name:       text(m.Name),
 		Selector:   SelectorToWire(m.Selector),
-		DeclaredMs: int64(m.Declared),
+		DeclaredMs: int64(m.DeclaredAt),
 		DeadlineMs: int64(m.Deadline),
 		Version:    uint64(m.Version),
 	}
@@ -161,10 +161,10 @@
 		return model.Maintenance{}, err
 	}
 	return model.Maintenance{
-		Name:     w.GetName(),
-		Selector: SelectorFromWire(w.GetSelector()),
-		Declared: clock.Millis(w.GetDeclaredMs()),
-		Deadline: clock.Millis(w.GetDeadlineMs()),
-		Version:  model.Version(w.GetVersion()),
+		Name:       w.GetName(),
+		Selector:   SelectorFromWire(w.GetSelector()),
+		DeclaredAt: clock.Millis(w.GetDeclaredMs()),
+		Deadline:   clock.Millis(w.GetDeadlineMs()),
+		Version:    model.Version(w.GetVersion()),
 	}, nil
 }
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -35,7 +35,7 @@
 		s.Instances[i.ID] = i
 	}
 	s.Maintenance["m"] = model.Maintenance{
-		Name: "m", Selector: model.Selector{Pool: "p", Zone: "z", Rack: "r", Instance: "i"}, Declared: 1, Deadline: 2, Version: 3,
+		Name: "m", Selector: model.Selector{Pool: "p", Zone: "z", Rack: "r", Instance: "i"}, DeclaredAt: 1, Deadline: 2, Version: 3,
 	}
 	for n := range rapid.IntRange(0, 5).Draw(t, "remembered") {
 		s.Results.Put(model.RequestID(fmt.Sprint("r", n%3)), anyResult(t), clock.Millis(n))
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -120,7 +120,7 @@
 		}
 		p.selected++
 		switch {
-		case i.MaintainedAt >= m.Declared:
+		case i.MaintainedAt >= m.DeclaredAt:
 			p.maintained++
 		case i.Phase == model.PhaseMaintenance || i.Phase == model.PhaseReleasing && i.Target == i.Pool:
 			p.underWay++
@@ -152,7 +152,7 @@
 		t := newTable("NAME", "SELECTOR", "DECLARED", "DEADLINE", "OVERDUE", "SELECTED", "MAINTAINED", "UNDER-WAY", "VERSION")
 		for _, m := range declared {
 			p := progressOf(m, s)
-			t.add(m.Name, selectorText(m.Selector), timeText(m.Declared), timeText(m.Deadline), yes(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
+			t.add(m.Name, selectorText(m.Selector), timeText(m.DeclaredAt), timeText(m.Deadline), yes(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
 		}
 		return t.String()
 	}, func() any {
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -55,7 +55,7 @@
 			{"rack", m.Selector.Rack},
 			{"instance", m.Selector.Instance},
 		}},
-		{"declared-ms", m.Declared},
+		{"declared-ms", m.DeclaredAt},
 		{"deadline-ms", m.Deadline},
 		{"selected", p.selected},
 		{"maintained", p.maintained},
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -45,8 +45,8 @@
 			{ID: "i1", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Slots: 8, MaintainedAt: start - 1000, PhaseSince: start - 1000, Version: 101, Reason: "returned\nfrom \x1b[31mmaintenance"},
 		},
 		Maintenance: []model.Maintenance{
-			{Name: "kernel", Selector: model.Selector{Pool: "log", Zone: "zone-a"}, Declared: start - clock.Hour, Deadline: start - 1, Version: 90},
-			{Name: "all", Declared: start, Deadline: start + clock.Day, Version: 91},
+			{Name: "kernel", Selector: model.Selector{Pool: "log", Zone: "zone-a"}, DeclaredAt: start - clock.Hour, Deadline: start - 1, Version: 90},
+			{Name: "all", DeclaredAt: start, Deadline: start + clock.Day, Version: 91},
 		},
 		Processes: []report.ProcessStatus{
 			{Name: "e2", Zone: "zone-b", Version: 110, Drained: 110, Since: start - clock.Hour, Seen: start - 10*clock.Second, Incarnation: 3},
