--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -44,7 +44,7 @@
 	live     []model.Announcement
 	// loans is run by the duty, for the calls on loans.
 	loans  func(now clock.Millis)
-	felt   model.Felt
+	felt   model.LoadReport
 	demand []model.PoolDemand
 	// reply is closed once the command was carried out.
 	reply chan struct{}
--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -61,8 +61,8 @@
 }
 
 // take returns the counts in order of their names and starts anew.
-func (t *tally) take() model.Felt {
-	var f model.Felt
+func (t *tally) take() model.LoadReport {
+	var f model.LoadReport
 	for _, c := range t.customers {
 		f.Customers = append(f.Customers, *c)
 	}
@@ -77,4 +77,4 @@
 }
 
 // Felt returns what callers felt since the last call.
-func (d *Dispatcher[P, Q, L]) Felt() model.Felt { return d.call(&command{op: opFelt}).felt }
+func (d *Dispatcher[P, Q, L]) Felt() model.LoadReport { return d.call(&command{op: opFelt}).felt }
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -36,7 +36,7 @@
 	// Demand is what callers ask of each pool at the time of the report.
 	Demand []model.PoolDemand
 	// Felt is empty in most reports; see FeltInterval.
-	Felt model.Felt
+	Felt model.LoadReport
 }
 
 // Status is what the reporter reads from the other duties of the process.
@@ -61,7 +61,7 @@
 	incarnation uint64
 	out         R
 	status      func() Status
-	felt        func() model.Felt
+	felt        func() model.LoadReport
 	demand      func() []model.PoolDemand
 	feltAt      clock.Millis
 	clock       clock.Clock
@@ -77,7 +77,7 @@
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.Felt, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
+func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
 		self: self, incarnation: incarnation, out: out, status: status, felt: felt, demand: demand, clock: c,
 		done: make(chan struct{}), sent: map[model.InstanceID]model.Announcement{},
--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -31,7 +31,7 @@
 	return feeling{customers: map[model.Customer]count{}, instances: map[model.InstanceID]count{}}
 }
 
-func (f *feeling) add(x model.Felt) {
+func (f *feeling) add(x model.LoadReport) {
 	for _, c := range x.Customers {
 		n := f.customers[c.Customer]
 		f.customers[c.Customer] = count{n.all + float64(c.Asks), n.bad + float64(c.Suffered)}
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -2,9 +2,9 @@
 
 import "camphorridge/core/state/clock"
 
-// Felt is what an entry process saw of callers and instances since it was
+// LoadReport is what an entry process saw of callers and instances since it was
 // last asked.
-type Felt struct {
+type LoadReport struct {
 	Customers []CustomerFelt
 	Instances []InstanceTally
 }
