--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -11,7 +11,7 @@
 // tally counts what callers felt and what instances ran since it was last
 // taken.
 type tally struct {
-	customers map[model.Customer]*model.CustomerFelt
+	customers map[model.Customer]*model.CustomerLoad
 	instances map[model.InstanceID]*model.InstanceTally
 	// turned counts the refusals by pool since the last report of demand.
 	turned map[model.Pool]int
@@ -19,16 +19,16 @@
 
 func newTally() tally {
 	return tally{
-		customers: map[model.Customer]*model.CustomerFelt{},
+		customers: map[model.Customer]*model.CustomerLoad{},
 		instances: map[model.InstanceID]*model.InstanceTally{},
 		turned:    map[model.Pool]int{},
 	}
 }
 
-func (t *tally) customer(c model.Customer) *model.CustomerFelt {
+func (t *tally) customer(c model.Customer) *model.CustomerLoad {
 	f := t.customers[c]
 	if f == nil {
-		f = &model.CustomerFelt{Customer: c}
+		f = &model.CustomerLoad{Customer: c}
 		t.customers[c] = f
 	}
 	return f
@@ -69,7 +69,7 @@
 	for _, i := range t.instances {
 		f.Instances = append(f.Instances, *i)
 	}
-	slices.SortFunc(f.Customers, func(a, b model.CustomerFelt) int { return cmp.Compare(a.Customer, b.Customer) })
+	slices.SortFunc(f.Customers, func(a, b model.CustomerLoad) int { return cmp.Compare(a.Customer, b.Customer) })
 	slices.SortFunc(f.Instances, func(a, b model.InstanceTally) int { return cmp.Compare(a.Instance, b.Instance) })
 	clear(t.customers)
 	clear(t.instances)
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -5,12 +5,12 @@
 // LoadReport is what an entry process saw of callers and instances since it was
 // last asked.
 type LoadReport struct {
-	Customers []CustomerFelt
+	Customers []CustomerLoad
 	Instances []InstanceTally
 }
 
-// CustomerFelt counts the requests of one customer.
-type CustomerFelt struct {
+// CustomerLoad counts the requests of one customer.
+type CustomerLoad struct {
 	Customer Customer
 	Asks     int64
 	// Suffered counts those that were refused for lack of capacity or time, or
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -240,7 +240,7 @@
 		})
 	}
 	for _, c := range w.GetCustomers() {
-		r.Felt.Customers = append(r.Felt.Customers, model.CustomerFelt{
+		r.Felt.Customers = append(r.Felt.Customers, model.CustomerLoad{
 			Customer: model.Customer(c.GetCustomer()), Asks: c.GetAsks(), Suffered: c.GetSuffered(),
 		})
 	}
