--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -120,7 +120,7 @@
 // aside while a class of tasks failed everywhere; means over 10 seeds.
 func BenchmarkJudge(b *testing.B) {
 	judges(b, "trust", NoQuarantine{})
-	judges(b, "streak", Streak{N: 3})
+	judges(b, "streak", ConsecutiveFailures{N: 3})
 	judges(b, "peers", Peers{Least: 6})
 }
 
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -31,13 +31,13 @@
 // Threshold is never reached.
 func (NoQuarantine) Threshold() float64 { return math.Inf(1) }
 
-// Streak sets a worker aside after N failures in a row, whatever they ran.
-type Streak struct {
+// ConsecutiveFailures sets a worker aside after N failures in a row, whatever they ran.
+type ConsecutiveFailures struct {
 	N int
 }
 
 // Score counts failures; a success takes all of them back.
-func (j Streak) Score(e Evidence) float64 {
+func (j ConsecutiveFailures) Score(e Evidence) float64 {
 	if e.Failed {
 		return 1
 	}
@@ -45,7 +45,7 @@
 }
 
 // Threshold is N.
-func (j Streak) Threshold() float64 { return float64(j.N) }
+func (j ConsecutiveFailures) Threshold() float64 { return float64(j.N) }
 
 // Peers compares each failure with how the class fares on other workers: the
 // weight is the log of how much likelier a broken worker explains it. A class
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -362,7 +362,7 @@
 	f := newFake(1, 4)
 	set := Defaults()
 	set.AsidePercent = 100
-	b := NewPlacer(BestFit{}, Declared{}, Streak{N: 1}, set)
+	b := NewPlacer(BestFit{}, Declared{}, ConsecutiveFailures{N: 1}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 64000))
 	x := f.add(0, 1, 1000, clock.Second, 100)
