--- a/core/coord/claim/claim.go
+++ b/core/coord/claim/claim.go
@@ -103,7 +103,7 @@
 func (c *Claimer[P]) Claim(ctx context.Context, k model.ClaimKey, token string) (model.ClaimAnswer, error) {
 	reply := make(chan answer, 1)
 	a := ask{claim: model.Claim{Key: k, Token: token, Owner: c.Owner}, reply: reply}
-	if !c.asks.Put(a) {
+	if !c.asks.TryPut(a) {
 		return model.ClaimAnswer{}, &Error{Op: "claim", Kind: KindFull, Err: fmt.Errorf("%d claims wait", ringSize)}
 	}
 	select {
@@ -119,7 +119,7 @@
 // Finish records how a claimed request ended. It does not wait; the outcome
 // is handed in again until the control group has it. When too many outcomes
 // wait it is dropped and counted, and the key stays claimed.
-func (c *Claimer[P]) Finish(o model.ClaimOutcome) { c.outcomes.Put(o) }
+func (c *Claimer[P]) Finish(o model.ClaimOutcome) { c.outcomes.TryPut(o) }
 
 // Refused is the number of claims and outcomes that were turned away.
 func (c *Claimer[P]) Refused() int64 { return c.asks.Refused() + c.outcomes.Refused() }
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -14,7 +14,7 @@
 func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
 	a := d.asks.Get().(*ask)
 	a.request = r
-	if !d.in.Put(message{kind: messageAsk, ask: a}) {
+	if !d.in.TryPut(message{kind: messageAsk, ask: a}) {
 		d.asks.Put(a)
 		return Grant{}, &Refusal{Kind: RefusalBusy, Reason: "the dispatcher is busy", RetryAfter: clock.Second}
 	}
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -276,6 +276,6 @@
 func (d *Dispatcher[P, Q, L]) event(e model.Event) {
 	if d.cfg.Events != nil {
 		e.Process = d.cfg.Self
-		d.cfg.Events.Put(e)
+		d.cfg.Events.TryPut(e)
 	}
 }
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -178,7 +178,7 @@
 func TestFullRingRefuses(t *testing.T) {
 	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
-		assert.Assert(t, d.in.Put(message{kind: messageDone}))
+		assert.Assert(t, d.in.TryPut(message{kind: messageDone}))
 	}
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalBusy)
--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -74,7 +74,7 @@
 	in.done = ctx.Done()
 	// A quarter of the ring is for messages of peers: were they dropped in
 	// favour of proposals, the load would cost the leader its term.
-	if g.ring.Len() >= g.cfg.Ring-g.cfg.Ring/4 || !g.ring.Put(in) {
+	if g.ring.Len() >= g.cfg.Ring-g.cfg.Ring/4 || !g.ring.TryPut(in) {
 		return answer{}, failf(in.op, KindBusy, "%d inputs wait", g.ring.Len())
 	}
 	select {
@@ -139,7 +139,7 @@
 // Step hands messages from peers to the duty. It does not wait: when the ring
 // is full the messages are dropped, and their senders repeat them.
 func (g *Group[S, C]) Step(messages []raft.Message) {
-	g.ring.Put(input{kind: inputMessages, op: "step", messages: messages})
+	g.ring.TryPut(input{kind: inputMessages, op: "step", messages: messages})
 }
 
 // Status returns a report of this member.
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -96,7 +96,7 @@
 	for {
 		select {
 		case o := <-d.in.C():
-			if p, ok := d.to[o.To]; !ok || !p.in.Put(o) {
+			if p, ok := d.to[o.To]; !ok || !p.in.TryPut(o) {
 				d.fail(o)
 			}
 		case <-d.done:
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -75,7 +75,7 @@
 	d := New(in, []model.Member{{Name: "silent"}, {Name: "a"}, {Name: "gone"}}, f, f, f, clock.Real())
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
-	in.Put(lend.Order{Kind: lend.OrderAsk, To: "silent"})
+	in.TryPut(lend.Order{Kind: lend.OrderAsk, To: "silent"})
 	<-f.silent
 	expect := func(want string) {
 		t.Helper()
@@ -86,7 +86,7 @@
 	}
 	next := func(o lend.Order, want string) {
 		t.Helper()
-		in.Put(o)
+		in.TryPut(o)
 		expect(want)
 	}
 	next(lend.Order{Kind: lend.OrderAsk, To: "a", Ask: lend.Ask{Number: 4}}, "a answered")
@@ -94,7 +94,7 @@
 	f.open = closeTries + 1
 	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
 	next(lend.Order{Kind: lend.OrderAsk, To: "unknown"}, "unknown unanswered")
-	in.Put(lend.Order{Kind: lend.OrderRecall, To: "gone"})
+	in.TryPut(lend.Order{Kind: lend.OrderRecall, To: "gone"})
 	next(lend.Order{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
 	f.open = 0
 	d.Stop()
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -141,7 +141,7 @@
 
 // Report takes a report of an entry process; false when the ring is full.
 func (m *Mover[G, P, C, J, A, S]) Report(r follow.Report) bool {
-	return m.in.Put(input{report: &r})
+	return m.in.TryPut(input{report: &r})
 }
 
 // Status returns what the mover knows of the entry processes.
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -99,7 +99,7 @@
 	r.seq++
 	e.Seq, e.Process = r.seq, r.process
 	e.Stamp = r.hybrid.Next(r.clock.Now())
-	if r.closed || !r.in.Put(input{event: e}) {
+	if r.closed || !r.in.TryPut(input{event: e}) {
 		r.lost++
 	}
 }
--- a/core/coord/roster/roster.go
+++ b/core/coord/roster/roster.go
@@ -51,7 +51,7 @@
 // neighbours. It does not wait; a full ring is counted.
 func (r *Roster[S]) Forward(a model.Announcement) {
 	for _, p := range r.peers {
-		p.in.Put(a)
+		p.in.TryPut(a)
 	}
 }
 
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -183,13 +183,13 @@
 func (r *Runner[G, M, O, J]) Refused() int64 { return r.in.Refused() }
 
 // Wake lets the duty look at the leadership at once.
-func (r *Runner[G, M, O, J]) Wake() { r.in.Put(input{}) }
+func (r *Runner[G, M, O, J]) Wake() { r.in.TryPut(input{}) }
 
 // Call hands in a call and waits for its answer. An error stands for
 // AnswerUnavailable or, of KindUnknown, AnswerUnknown.
 func (r *Runner[G, M, O, J]) Call(ctx context.Context, c Call) Answer {
 	reply := make(chan Answer, 1)
-	if !r.in.Put(input{call: &c, answer: reply}) {
+	if !r.in.TryPut(input{call: &c, answer: reply}) {
 		return unavailable("too many calls wait")
 	}
 	select {
@@ -211,7 +211,7 @@
 func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Beat) (HeartbeatReply, error) {
 	reply := make(chan beatAnswer, 1)
 	h.Received = r.clock.Now()
-	if !r.in.Put(input{beat: &h, reply: reply}) {
+	if !r.in.TryPut(input{beat: &h, reply: reply}) {
 		return HeartbeatReply{}, failf("heartbeat", KindBusy, "too many inputs wait")
 	}
 	select {
@@ -226,7 +226,7 @@
 
 // Leave takes note of a worker that ended by itself.
 func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Life) bool {
-	return r.in.Put(input{leave: &leave{worker: id, life: life}})
+	return r.in.TryPut(input{leave: &leave{worker: id, life: life}})
 }
 
 // Leads reports whether this process leads and has the state.
@@ -417,7 +417,7 @@
 		o.waiter.reply <- beatAnswer{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
 	}
 	for _, a := range b.actions {
-		if !r.actions.Put(action{Action: a, term: r.term, at: now, skew: r.skew}) {
+		if !r.actions.TryPut(action{Action: a, term: r.term, at: now, skew: r.skew}) {
 			r.board.Acted(a, sched.Outcome{Answer: sched.AnswerLater}, now)
 		}
 	}
--- a/core/state/ring/ring.go
+++ b/core/state/ring/ring.go
@@ -16,8 +16,8 @@
 	return &Queue[T]{ch: make(chan T, max(n, 1))}
 }
 
-// Put adds v, or returns false and counts the refusal when the ring is full.
-func (r *Queue[T]) Put(v T) bool {
+// TryPut adds v, or returns false and counts the refusal when the ring is full.
+func (r *Queue[T]) TryPut(v T) bool {
 	select {
 	case r.ch <- v:
 		return true
--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -61,7 +61,7 @@
 
 // Write takes one line. It never fails: a line without room is dropped.
 func (a *Async) Write(line []byte) (int, error) {
-	if !a.admit(line) || !a.lines.Put(bytes.Clone(line)) {
+	if !a.admit(line) || !a.lines.TryPut(bytes.Clone(line)) {
 		a.dropped.Add(1)
 	}
 	return len(line), nil
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -65,7 +65,7 @@
 func (s *Senders) Send(all []raft.Message) {
 	for _, m := range all {
 		if r := s.ring(m.To); r != nil {
-			r.Put(m)
+			r.TryPut(m)
 		}
 	}
 }
