--- a/core/state/clock/clock.go
+++ b/core/state/clock/clock.go
@@ -22,8 +22,8 @@
 	return time.Duration(m) * time.Millisecond
 }
 
-// Of converts a duration of the standard library, rounded down.
-func Of(d time.Duration) Millis {
+// FromDuration converts a duration of the standard library, rounded down.
+func FromDuration(d time.Duration) Millis {
 	return Millis(d / time.Millisecond)
 }
 
@@ -45,7 +45,7 @@
 	if c.fake != nil {
 		return c.fake.Now()
 	}
-	return Millis(start.UnixMilli()) + Of(time.Since(start))
+	return Millis(start.UnixMilli()) + FromDuration(time.Since(start))
 }
 
 // Skew is the time of day less Now. It changes when the time of day is set, and
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -170,7 +170,7 @@
 	o.Address = u.Addr()
 	_ = u.Shutdown(ctx)
 	p.keep(u)
-	<-clk.After(clock.Of(p.RebootTime))
+	<-clk.After(clock.FromDuration(p.RebootTime))
 	next, err := Start(o)
 	if err != nil {
 		return
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -127,7 +127,7 @@
 		if d <= 0 {
 			return 0, fmt.Errorf("%q: want a time above 0", s)
 		}
-		return now + clock.Of(d), nil
+		return now + clock.FromDuration(d), nil
 	}
 	t, err := time.Parse(time.RFC3339, s)
 	if err != nil {
