--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -123,7 +123,7 @@
 	n.votes, n.reads = nil, nil
 	n.round = 0
 	n.peers = map[MemberID]*progress{}
-	n.appendOwn(Entry{Kind: EntryNone})
+	n.appendOwn(Entry{Kind: EntryNoOp})
 	n.syncPeers()
 	n.broadcastHeartbeat()
 }
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -27,8 +27,8 @@
 const (
 	// EntryChange carries an encoded change.
 	EntryChange EntryKind = iota
-	// EntryNone is the empty entry that starts a leader's term.
-	EntryNone
+	// EntryNoOp is the empty entry that starts a leader's term.
+	EntryNoOp
 	// EntryMembers carries the encoded member list that is in force from this
 	// entry on.
 	EntryMembers
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -72,7 +72,7 @@
 	case 0:
 		e.Data = Codec{}.EncodeChange(anyChange(t))
 	case 1:
-		e.Kind = raft.EntryNone
+		e.Kind = raft.EntryNoOp
 	case 2:
 		e.Kind = raft.EntryMembers
 		e.Members = []raft.Member{{ID: 9, Name: "c1", Zone: "z", Address: "127.0.0.1:1", Voter: true}, {ID: 10}}
