--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -23,7 +23,7 @@
 type memory struct {
 	mu      sync.Mutex
 	broken  atomic.Bool
-	stored  raft.Stored
+	stored  raft.StoredState
 	data    []byte
 	largest int
 }
@@ -147,7 +147,7 @@
 	}
 	first := []raft.Member{{ID: 1, Name: "one", Voter: true}, {ID: 2, Name: "two", Voter: true}, {ID: 3, Name: "three", Voter: true}}[:n]
 	for _, m := range first {
-		c.start(m, &memory{stored: raft.Stored{Self: m, Snapshot: raft.SnapshotMeta{Members: first}}})
+		c.start(m, &memory{stored: raft.StoredState{Self: m, Snapshot: raft.SnapshotMeta{Members: first}}})
 	}
 	return c
 }
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -157,7 +157,7 @@
 
 // New returns the duty for a member with the given stored state. The error is
 // of kind disk or corrupt.
-func New[S Storage, C Codec](cfg Config, stored raft.Stored, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
+func New[S Storage, C Codec](cfg Config, stored raft.StoredState, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
 	cfg.Ring = max(cfg.Ring, 16)
 	cfg.MaxWaiting = max(cfg.MaxWaiting, 1)
 	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -206,7 +206,7 @@
 	assert.NilError(t, c.wait(c.propose(lead, apply("a", ""))).err)
 	for id := raft.MemberID(2); id <= 3; id++ {
 		m := raft.Member{ID: id, Name: model.Process(fmt.Sprint("member", id))}
-		c.start(m, &memory{stored: raft.Stored{Self: m}})
+		c.start(m, &memory{stored: raft.StoredState{Self: m}})
 		c.join(lead, m, int(id))
 	}
 	c.links.cut(1, true)
@@ -218,7 +218,7 @@
 // cannot decode, and then differs from the others.
 func TestCorrupt(t *testing.T) {
 	self := raft.Member{ID: 1, Voter: true}
-	disk := &memory{stored: raft.Stored{
+	disk := &memory{stored: raft.StoredState{
 		Self: self, Hard: raft.HardState{Term: 1, Commit: 1},
 		Snapshot: raft.SnapshotMeta{Members: []raft.Member{self}},
 		Entries:  []raft.Entry{{Index: 1, Term: 1, Data: []byte("no change")}},
@@ -248,7 +248,7 @@
 	<-c.group(lost).Done()
 
 	m := raft.Member{ID: 9, Name: name}
-	c.start(m, &memory{stored: raft.Stored{Self: m}})
+	c.start(m, &memory{stored: raft.StoredState{Self: m}})
 	c.join(lead, m, 3)
 	c.until("the state", func() bool { return c.contracts(9) == 60 })
 	assert.Equal(t, c.status(9).Counts.Installs, int64(1))
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -61,7 +61,7 @@
 // New returns a member with the state found on its disk. Stored.Snapshot holds
 // the first member list of a new group at index 0; it is empty for a member
 // that waits to be added.
-func New(cfg Config, stored Stored, now clock.Millis) *Node {
+func New(cfg Config, stored StoredState, now clock.Millis) *Node {
 	cfg.ElectionTimeout = max(cfg.ElectionTimeout, 3)
 	cfg.HeartbeatInterval = min(max(cfg.HeartbeatInterval, 1), cfg.ElectionTimeout/3)
 	cfg.MaxAppendBytes = max(cfg.MaxAppendBytes, 1)
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -110,7 +110,7 @@
 // empty disk.
 func TestNewIdentity(t *testing.T) {
 	cfg := Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 100, ChunkBytes: 10}
-	n := New(cfg, Stored{Self: Member{ID: 9}}, 0)
+	n := New(cfg, StoredState{Self: Member{ID: 9}}, 0)
 	for _, kind := range []MessageKind{MsgPreVote, MsgVote} {
 		assert.NilError(t, n.Step(Message{Kind: kind, From: 1, To: 9, Term: 3, Index: 5, LogTerm: 2}, 1))
 		out := n.Output()
@@ -130,7 +130,7 @@
 // conflicting entries because the leader's commit index is beyond the entries
 // of the append.
 func TestCommitWithinMatch(t *testing.T) {
-	n := New(Config{}, Stored{
+	n := New(Config{}, StoredState{
 		Self:    Member{ID: 2},
 		Hard:    HardState{Term: 1},
 		Entries: []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}},
@@ -142,7 +142,7 @@
 // TestAppendAfterInstall guards against entries that are written in the same
 // output as a snapshot, which replaces the log and would lose them.
 func TestAppendAfterInstall(t *testing.T) {
-	n := New(Config{}, Stored{Self: Member{ID: 2}}, 0)
+	n := New(Config{}, StoredState{Self: Member{ID: 2}}, 0)
 	meta := SnapshotMeta{Index: 7, Term: 1}
 	assert.NilError(t, n.Step(Message{Kind: MsgSnapshot, From: 1, To: 2, Term: 1, Snapshot: meta, Last: true}, 1))
 	next := Message{Kind: MsgAppend, From: 1, To: 2, Term: 1, Index: 7, LogTerm: 1, Entries: []Entry{{Index: 8, Term: 1}}}
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -174,7 +174,7 @@
 	for _, h := range w.hosts {
 		n := h.node
 		if n == nil {
-			n = New(w.cfg, Stored{Self: h.self, Snapshot: h.disk.snap, Entries: h.disk.entries}, 0)
+			n = New(w.cfg, StoredState{Self: h.self, Snapshot: h.disk.snap, Entries: h.disk.entries}, 0)
 		}
 		voters, alive := 0, 0
 		for _, m := range n.Members() {
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -129,8 +129,8 @@
 	return roleNames[r]
 }
 
-// Stored is what a member finds in its data folder at start.
-type Stored struct {
+// StoredState is what a member finds in its data folder at start.
+type StoredState struct {
 	Self     Member
 	Hard     HardState
 	Snapshot SnapshotMeta
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -158,7 +158,7 @@
 }
 
 func (w *world) start(h *host) {
-	h.node = New(w.cfg, Stored{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
+	h.node = New(w.cfg, StoredState{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
 	h.load(h.disk.snap, h.disk.data)
 	h.commit = 0
 	h.waiting, h.reading, h.writing = map[uint64]waiter{}, map[uint64]int{}, nil
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -68,7 +68,7 @@
 	}
 	s.commit = max(s.hard.Commit, s.snap.Index)
 	self.ID = s.id
-	s.stored = raft.Stored{Self: self, Hard: s.hard, Snapshot: s.snap, Entries: log}
+	s.stored = raft.StoredState{Self: self, Hard: s.hard, Snapshot: s.snap, Entries: log}
 	s.stored.Hard.Commit = s.commit
 	return nil
 }
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -50,13 +50,13 @@
 	// unknown is set after a failed sync.
 	torn, unknown bool
 	buf           []byte
-	stored        raft.Stored
+	stored        raft.StoredState
 	closed        bool
 }
 
 // Stored returns what Open found. The entries are kept until the first Save
 // only.
-func (s *Store[C, F]) Stored() raft.Stored { return s.stored }
+func (s *Store[C, F]) Stored() raft.StoredState { return s.stored }
 
 // Save makes a hard state and entries durable; hard may be nil and entries
 // empty. The entries replace all stored entries from entries[0].Index on. A
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -108,7 +108,7 @@
 	return true
 }
 
-func (r *run) reopen(t *rapid.T) raft.Stored {
+func (r *run) reopen(t *rapid.T) raft.StoredState {
 	s, err := open("d", r.disk, 200)
 	assert.NilError(t, err)
 	r.s = s
@@ -125,7 +125,7 @@
 
 // check compares the recovered state with the one before a call that failed
 // and the one after it; both are the same when no call failed.
-func (r *run) check(t *rapid.T, got raft.Stored, after step) {
+func (r *run) check(t *rapid.T, got raft.StoredState, after step) {
 	same := func(a, b []raft.Entry) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 	n := len(got.Entries)
 	if after.loose {
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -140,7 +140,7 @@
 	return c, nil
 }
 
-func initialised(s raft.Stored) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
+func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
 // surges prefers what the operator gives the most weight to.
 func surges(cfg conf.Control) *mover.Surges[plan.Cheapest] {
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -84,7 +84,7 @@
 
 // form writes the first snapshot. The term starts at that of the snapshot, so
 // that the first leader's term is above it.
-func (f *formation) form(stored *raft.Stored, members []raft.Member) error {
+func (f *formation) form(stored *raft.StoredState, members []raft.Member) error {
 	stored.Snapshot = raft.SnapshotMeta{Index: firstIndex, Term: firstIndex, Members: members}
 	stored.Hard = raft.HardState{Term: firstIndex, Commit: firstIndex}
 	s := fleet.New()
