--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -92,13 +92,13 @@
 		o.Done = 0
 		for i := range o.Steps {
 			st := &o.Steps[i]
-			st.Done = 0
+			st.DoneTasks = 0
 			for _, t := range st.Tasks {
 				if t.Phase == PhaseDone {
-					st.Done++
+					st.DoneTasks++
 				}
 			}
-			if st.Done == len(st.Tasks) {
+			if st.DoneTasks == len(st.Tasks) {
 				o.Done++
 			}
 		}
@@ -275,12 +275,12 @@
 			t := &st.Tasks[n]
 			t.Phase, t.Worker, t.Incarnation = PhaseDone, "", 0
 		}
-		st.Done = len(st.Tasks)
+		st.DoneTasks = len(st.Tasks)
 	} else {
 		st.Tasks[id.Index].Phase = PhaseDone
-		st.Done++
+		st.DoneTasks++
 	}
-	if st.Done < len(st.Tasks) {
+	if st.DoneTasks < len(st.Tasks) {
 		return
 	}
 	o.Done++
@@ -316,7 +316,7 @@
 func (r *Record) Ready(occurrence, step int) bool {
 	o := &r.Occurrences[occurrence]
 	for _, before := range r.Steps[step].DependsOn {
-		if o.Steps[before].Done < len(o.Steps[before].Tasks) {
+		if o.Steps[before].DoneTasks < len(o.Steps[before].Tasks) {
 			return false
 		}
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -209,8 +209,8 @@
 // StepState is what is known of a step of one occurrence.
 type StepState struct {
 	Tasks []TaskState
-	// Done counts the tasks in PhaseDone.
-	Done int
+	// DoneTasks counts the tasks in PhaseDone.
+	DoneTasks int
 }
 
 // Occurrence is one repetition of a job.
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -155,7 +155,7 @@
 // follow queues the steps that waited for the step of a task that is done.
 func (b *Board[O, J]) follow(r *jobs.Record, t jobs.Task, now clock.Millis) {
 	st := &r.Occurrences[t.Occurrence].Steps[t.Step]
-	if st.Done < len(st.Tasks) {
+	if st.DoneTasks < len(st.Tasks) {
 		return
 	}
 	for i := range r.Steps {
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -77,7 +77,7 @@
 	r.now += 1000
 	r.hear("w1", 1, nil, endsOf(first, jobs.HowDone)[:1]...)
 	p = r.Pass(r.now)
-	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].Done, 6)
+	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].DoneTasks, 6)
 	assert.Equal(t, len(orders(p, "w1").Starts), 1)
 	r.Leave("w2", 1, r.now)
 	r.now += 500
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -66,7 +66,7 @@
 		for _, before := range r.Steps[i].DependsOn {
 			end = max(end, ends[before])
 		}
-		if o.Steps[i].Done < len(o.Steps[i].Tasks) {
+		if o.Steps[i].DoneTasks < len(o.Steps[i].Tasks) {
 			end += r.Steps[i].Estimate
 		}
 		ends = append(ends, end)
