--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -89,7 +89,7 @@
 	r.Done = 0
 	for k := range r.Occurrences {
 		o := &r.Occurrences[k]
-		o.Done = 0
+		o.DoneSteps = 0
 		for i := range o.Steps {
 			st := &o.Steps[i]
 			st.DoneTasks = 0
@@ -99,10 +99,10 @@
 				}
 			}
 			if st.DoneTasks == len(st.Tasks) {
-				o.Done++
+				o.DoneSteps++
 			}
 		}
-		if o.Done == len(o.Steps) {
+		if o.DoneSteps == len(o.Steps) {
 			r.Done++
 		}
 	}
@@ -283,8 +283,8 @@
 	if st.DoneTasks < len(st.Tasks) {
 		return
 	}
-	o.Done++
-	if o.Done < len(o.Steps) {
+	o.DoneSteps++
+	if o.DoneSteps < len(o.Steps) {
 		return
 	}
 	r.Done++
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -216,8 +216,8 @@
 // Occurrence is one repetition of a job.
 type Occurrence struct {
 	Steps []StepState
-	// Done counts the steps whose tasks are all done.
-	Done int
+	// DoneSteps counts the steps whose tasks are all done.
+	DoneSteps int
 }
 
 // Status is the state of a job as submitters see it.
