--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -217,7 +217,7 @@
 		ask(t, r, AnswerDone, submit("/q/a"))
 	}
 	a := ask(t, r, AnswerDone, Call{Kind: CallPending, Host: "h", Path: "/q/"})
-	assert.Equal(t, a.Pending, 1)
+	assert.Equal(t, a.Count, 1)
 }
 
 // TestCalls is the table of what calls are answered.
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -111,7 +111,7 @@
 		return Answer{}
 	case CallList:
 		lines, total := r.board.List(listMost)
-		return Answer{Jobs: lines, Pending: total}
+		return Answer{Jobs: lines, Count: total}
 	}
 	if c.Queue != "" || c.JobID != "" {
 		return r.handleNamed(c, now)
@@ -145,7 +145,7 @@
 	rec := r.board.State.Jobs[id]
 	switch {
 	case c.Kind == CallPending:
-		return Answer{Pending: r.board.Pending(q.Name)}
+		return Answer{Count: r.board.Pending(q.Name)}
 	case id == "":
 		return Answer{Kind: AnswerInvalid, Reason: "the path names no job"}
 	case c.Kind == CallSubmit:
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -151,9 +151,9 @@
 type Answer struct {
 	Kind   AnswerKind
 	Status jobs.Status
-	// Pending answers CallPending, and CallList with the number of all jobs of
+	// Count answers CallPending, and CallList with the number of all jobs of
 	// which Jobs may be a part.
-	Pending int
+	Count int
 	// Report answers CallExplain, and Jobs CallList.
 	Report *sched.JobReport
 	Jobs   []sched.JobLine
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -36,7 +36,7 @@
 // WorkAnswerToWire maps the answer to a call.
 func WorkAnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
 	w := &wirepb.WorkAnswer{
-		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Pending),
+		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
 		RetryAfterMs: int64(a.RetryAfter), Reason: text(a.Reason), Jobs: list(a.Jobs, jobLineToWire),
 	}
 	if a.Report != nil {
@@ -56,7 +56,7 @@
 		return runner.Answer{}, err
 	}
 	a := runner.Answer{
-		Kind: kind, Status: status, Pending: int(w.GetPending()),
+		Kind: kind, Status: status, Count: int(w.GetPending()),
 		RetryAfter: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
 	}
 	for _, wl := range w.GetJobs() {
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/work_test.go
@@ -27,7 +27,7 @@
 	line := sched.JobLine{ID: "a", Queue: "q", Status: jobs.StatusFailed, Accepted: 5, OnTime: 9}
 	for _, a := range []runner.Answer{
 		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
-		{Status: jobs.StatusRunning, Pending: 3, Jobs: []sched.JobLine{line}},
+		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobLine{line}},
 		{Report: &sched.JobReport{
 			JobLine: line, Pool: "p", Now: 7, Ended: 6,
 			Steps: []sched.StepReport{{
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -60,7 +60,7 @@
 		if o.queue != "" {
 			lines = slices.DeleteFunc(lines, func(l sched.JobLine) bool { return l.Queue != jobs.QueueName(o.queue) })
 		}
-		return report.Jobs(out, o.format(), lines, a.Pending)
+		return report.Jobs(out, o.format(), lines, a.Count)
 	})
 }
 
