--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -266,7 +266,7 @@
 		a := ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: jobs.Config{Version: version, Document: []byte("other")}})
 		assert.Equal(t, a.Version, uint64(3))
 	}
-	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallGetConfig}).Document), "{}")
+	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallGetConfig}).ConfigDocument), "{}")
 }
 
 // TestAbsenceIsConfirmed guards against a leader that was replaced and says
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -92,7 +92,7 @@
 		if s.Config.Version == 0 {
 			return unavailable("no configuration is in force")
 		}
-		return Answer{Document: s.Config.Document, Version: s.Config.Version}
+		return Answer{ConfigDocument: s.Config.Document, Version: s.Config.Version}
 	case CallDeclareWave:
 		r.board.Declare(c.Wave, now)
 		return Answer{}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -157,9 +157,9 @@
 	// Report answers CallExplain, and Jobs CallList.
 	Report *sched.JobReport
 	Jobs   []sched.JobLine
-	// Document and Version answer CallConfig.
-	Document []byte
-	Version  uint64
+	// ConfigDocument and Version answer CallConfig.
+	ConfigDocument []byte
+	Version        uint64
 	// Completed answers CallWave.
 	Completed bool
 	// RetryAfter is when an unavailable caller may come back.
