--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -264,7 +264,7 @@
 	r := start(t, newFakeGroup())
 	for _, version := range []uint64{3, 2} {
 		a := ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: jobs.Config{Version: version, Document: []byte("other")}})
-		assert.Equal(t, a.Version, uint64(3))
+		assert.Equal(t, a.ConfigVersion, uint64(3))
 	}
 	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallGetConfig}).ConfigDocument), "{}")
 }
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -87,12 +87,12 @@
 	switch c.Kind {
 	case CallConfigure:
 		r.board.Configure(c.Config, now)
-		return Answer{Version: s.Config.Version}
+		return Answer{ConfigVersion: s.Config.Version}
 	case CallGetConfig:
 		if s.Config.Version == 0 {
 			return unavailable("no configuration is in force")
 		}
-		return Answer{ConfigDocument: s.Config.Document, Version: s.Config.Version}
+		return Answer{ConfigDocument: s.Config.Document, ConfigVersion: s.Config.Version}
 	case CallDeclareWave:
 		r.board.Declare(c.Wave, now)
 		return Answer{}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -159,7 +159,7 @@
 	Jobs   []sched.JobLine
 	// ConfigDocument and Version answer CallConfig.
 	ConfigDocument []byte
-	Version        uint64
+	ConfigVersion  uint64
 	// Completed answers CallWave.
 	Completed bool
 	// RetryAfter is when an unavailable caller may come back.
