--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -101,7 +101,7 @@
 		if w == nil {
 			return Answer{Kind: AnswerNoWave, Reason: "no such wave"}
 		}
-		return Answer{Completed: w.Completed()}
+		return Answer{WaveCompleted: w.Completed()}
 	}
 	if s.Config.Version == 0 {
 		return unavailable("no configuration is in force")
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -160,8 +160,8 @@
 	// ConfigDocument and Version answer CallConfig.
 	ConfigDocument []byte
 	ConfigVersion  uint64
-	// Completed answers CallWave.
-	Completed bool
+	// WaveCompleted answers CallWave.
+	WaveCompleted bool
 	// RetryAfter is when an unavailable caller may come back.
 	RetryAfter clock.Millis
 	Reason     string
