--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -116,10 +116,10 @@
 				sums[d.Pool] = x
 				order = append(order, d.Pool)
 			}
-			x.ServiceMillis = max(x.ServiceMillis, d.Typical)
+			x.ServiceMillis = max(x.ServiceMillis, d.TypicalRunTime)
 			x.Waiting += float64(d.Waiting)
 			// A refused request would have kept a slot busy for its run time.
-			lost := float64(d.Refused) * float64(d.Typical) / float64(r.gap)
+			lost := float64(d.Refused) * float64(d.TypicalRunTime) / float64(r.gap)
 			x.Now += float64(d.Running+d.Waiting) + lost
 		}
 	}
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -36,6 +36,6 @@
 	// Refused counts the requests that were refused for lack of capacity or
 	// time since the last report.
 	Refused int
-	// Typical is the usual run time of a request; 0 while unknown.
-	Typical clock.Millis
+	// TypicalRunTime is the usual run time of a request; 0 while unknown.
+	TypicalRunTime clock.Millis
 }
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -205,7 +205,7 @@
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, &wirepb.PoolDemand{
 			Pool: string(d.Pool), Running: int64(d.Running), Waiting: int64(d.Waiting),
-			Refused: int64(d.Refused), TypicalMs: int64(d.Typical),
+			Refused: int64(d.Refused), TypicalMs: int64(d.TypicalRunTime),
 		})
 	}
 	for _, c := range r.Felt.Customers {
@@ -236,7 +236,7 @@
 	for _, d := range w.GetDemand() {
 		r.Demand = append(r.Demand, model.PoolDemand{
 			Pool: model.Pool(d.GetPool()), Running: int(d.GetRunning()), Waiting: int(d.GetWaiting()),
-			Refused: int(d.GetRefused()), Typical: clock.Millis(d.GetTypicalMs()),
+			Refused: int(d.GetRefused()), TypicalRunTime: clock.Millis(d.GetTypicalMs()),
 		})
 	}
 	for _, c := range w.GetCustomers() {
