--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -111,14 +111,14 @@
 	return sched.Outcome{Answer: sched.AnswerLater}
 }
 
-type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]
+type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]
 
 func start(t *testing.T, g *fakeGroup) *testRunner {
 	t.Helper()
 	set := sched.Defaults()
 	set.SurgeMillis = 0
-	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
-		Name: "c1", Group: g, Judge: place.Peers{Least: 3}, Settings: set, Clock: clock.Real(),
+	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]{
+		Name: "c1", Group: g, Judge: place.PeerComparison{Least: 3}, Settings: set, Clock: clock.Real(),
 	})
 	go func() { _ = r.Run() }()
 	t.Cleanup(func() {
@@ -307,8 +307,8 @@
 // which its clock stood still, and grants leases on an old confirmation.
 func TestLeaseAfterSuspension(t *testing.T) {
 	fake := clock.NewFake(100_000)
-	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
-		Group: newFakeGroup(), Judge: place.Peers{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]{
+		Group: newFakeGroup(), Judge: place.PeerComparison{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 	})
 	r.confirmed = 99_900
 	r.notePause()
@@ -336,8 +336,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			fake, g := clock.NewFake(began), newFakeGroup()
-			r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
-				Group: g, Judge: place.Peers{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+			r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]{
+				Group: g, Judge: place.PeerComparison{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 			})
 			a := action{term: g.term, at: began, skew: fake.Clock().Skew()}
 			c.hold(fake, g)
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -47,10 +47,10 @@
 // Threshold is N.
 func (j ConsecutiveFailures) Threshold() float64 { return float64(j.N) }
 
-// Peers compares each failure with how the class fares on other workers: the
+// PeerComparison compares each failure with how the class fares on other workers: the
 // weight is the log of how much likelier a broken worker explains it. A class
 // that fails everywhere weighs nothing.
-type Peers struct {
+type PeerComparison struct {
 	// Least is the sum at which a worker is set aside.
 	Least float64
 }
@@ -60,7 +60,7 @@
 
 // Score returns the log of the likelihood ratio. The class's failure rate
 // starts at one in ten while nothing is known of it.
-func (j Peers) Score(e Evidence) float64 {
+func (j PeerComparison) Score(e Evidence) float64 {
 	rate := min((float64(e.FailedPeers)+0.5)/(float64(e.Peers)+5), brokenRate)
 	if e.Failed {
 		return math.Log(brokenRate / rate)
@@ -69,7 +69,7 @@
 }
 
 // Threshold is Least.
-func (j Peers) Threshold() float64 { return j.Least }
+func (j PeerComparison) Threshold() float64 { return j.Least }
 
 // Record is how a class of tasks fared on its latest workers.
 type Record struct {
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -68,7 +68,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
 		f.delay, f.drop = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "drop")
-		b := NewPlacer(BestFit{}, NewQuantile(90), Peers{Least: 6}, Defaults())
+		b := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{Least: 6}, Defaults())
 		f.fill(b)
 		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
 		for k := range 2 {
@@ -228,10 +228,10 @@
 // Guards against a worker that fails everything and keeps getting work, and
 // against workers condemned for tasks that fail everywhere.
 func TestBadWorkersAndBadTasks(t *testing.T) {
-	lost, aside := judged(Peers{Least: 6}, 1, true, false)
+	lost, aside := judged(PeerComparison{Least: 6}, 1, true, false)
 	assert.DeepEqual(t, aside, []WorkerID{"w0003"})
 	assert.Assert(t, lost <= 8, "%d tasks were lost to the bad worker", lost)
-	_, aside = judged(Peers{Least: 6}, 1, false, true)
+	_, aside = judged(PeerComparison{Least: 6}, 1, false, true)
 	assert.Equal(t, len(aside), 0)
 }
 
@@ -241,8 +241,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
 		f.delay = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay"))
-		board := func(term int) *Placer[BestFit, Declared, Peers] {
-			b := NewPlacer(BestFit{}, Declared{}, Peers{Least: 6}, Defaults())
+		board := func(term int) *Placer[BestFit, Declared, PeerComparison] {
+			b := NewPlacer(BestFit{}, Declared{}, PeerComparison{Least: 6}, Defaults())
 			b.TakeOver(term, f.now)
 			f.fill(b)
 			b.SetContract(teamContract(0, 64000))
@@ -254,7 +254,7 @@
 			tasks[x.ID] = x
 		}
 		// Late reports reach the board of the leader at the time.
-		b := &Placer[BestFit, Declared, Peers]{}
+		b := &Placer[BestFit, Declared, PeerComparison]{}
 		for term := 1; term <= 4; term++ {
 			*b = *board(term)
 			length := 60 + f.rnd.IntN(40)
@@ -295,7 +295,7 @@
 	f := newFake(1, 40)
 	set := Defaults()
 	set.StopsPerPass, set.TrialTasks = 20, 100
-	b := NewPlacer(WorstFit{}, Declared{}, Peers{Least: 6}, set)
+	b := NewPlacer(WorstFit{}, Declared{}, PeerComparison{Least: 6}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 1<<20))
 	b.SetContract(teamContract(1, 1<<20))
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -22,7 +22,7 @@
 const asideEvidence = 3
 
 // JobsRunner is the runner with the policies of the product.
-type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestObjective, place.Peers]
+type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]
 
 // JobsOptions says how a control process runs jobs.
 type JobsOptions struct {
@@ -65,9 +65,9 @@
 	if err != nil {
 		return err
 	}
-	c.work = runner.New(runner.Parts[*seat, runner.Machines, sched.EarliestObjective, place.Peers]{
+	c.work = runner.New(runner.Parts[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestObjective{},
-		Judge: place.Peers{Least: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
+		Judge: place.PeerComparison{Least: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
 		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
 	c.member.changed = c.work.Wake
