--- a/core/coord/group/perform.go
+++ b/core/coord/group/perform.go
@@ -121,7 +121,7 @@
 	if g.failed != nil || g.terminalErr != nil || g.applied-g.snapped < g.cfg.SnapshotEntries || now < g.nextSnap {
 		return
 	}
-	meta, ok := g.node.Meta(g.applied)
+	meta, ok := g.node.SnapshotMetaAt(g.applied)
 	if !ok {
 		return
 	}
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -71,9 +71,9 @@
 	return list
 }
 
-// Meta describes a snapshot of the state at an applied index; ok is false when
+// SnapshotMetaAt describes a snapshot of the state at an applied index; ok is false when
 // the log no longer reaches back to it.
-func (n *Node) Meta(index uint64) (meta SnapshotMeta, ok bool) {
+func (n *Node) SnapshotMetaAt(index uint64) (meta SnapshotMeta, ok bool) {
 	term, ok := n.log.term(index)
 	if !ok || index > n.applied || index < n.lists[0].index {
 		return SnapshotMeta{}, false
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -288,7 +288,7 @@
 }
 
 func (w *world) snapshot(h *host) {
-	meta, ok := h.node.Meta(h.applied)
+	meta, ok := h.node.SnapshotMetaAt(h.applied)
 	if !ok {
 		// The log was replaced while these entries were being written.
 		if h.node.install == nil {
