--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -90,7 +90,7 @@
 		return
 	}
 	g.lastRead++
-	if err := g.node.Read(g.lastRead, g.clock.Now()); err != nil {
+	if err := g.node.ReadIndex(g.lastRead, g.clock.Now()); err != nil {
 		in.answer(answer{err: g.translate(in.op, err)})
 		return
 	}
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -82,7 +82,7 @@
 		l.side = 1
 		w.pass(2 * w.cfg.ElectionTimeout)
 		assert.Equal(t, l.node.Role(), RoleFollower)
-		assert.Assert(t, l.node.Read(1, w.now) != nil)
+		assert.Assert(t, l.node.ReadIndex(1, w.now) != nil)
 	}
 }
 
--- a/core/state/raft/reads.go
+++ b/core/state/raft/reads.go
@@ -12,10 +12,10 @@
 	round uint64
 }
 
-// Read asks for the right to answer a read from the state. The answer is in
+// ReadIndex asks for the right to answer a read from the state. The answer is in
 // the Reads of a later output. Reads are dropped when the leader steps down.
 // The error is of kind not-leader.
-func (n *Node) Read(context uint64, now clock.Millis) error {
+func (n *Node) ReadIndex(context uint64, now clock.Millis) error {
 	n.advance(now)
 	if n.role != RoleLeader {
 		return failf("read", KindNotLeader, "member %x is a %s", n.self, n.role)
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -365,7 +365,7 @@
 	w.stamp++
 	record := porcupine.Operation{ClientId: op, Input: q, Call: w.stamp, Output: int64(-1), Return: forever}
 	if q.kind == opRead {
-		if h.node.Read(uint64(op), w.now) != nil {
+		if h.node.ReadIndex(uint64(op), w.now) != nil {
 			return
 		}
 		h.reading[uint64(op)] = op
