--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -51,7 +51,7 @@
 	}
 	change, member := raft.AddMember, in.member
 	if old, ok := g.replaced(in.member); ok {
-		if old.Recent {
+		if old.RecentlyActive {
 			return false
 		}
 		change, member = raft.RemoveMember, old.Member
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -41,8 +41,8 @@
 	Member Member
 	// Match is the last index known to be on the member's disk.
 	Match uint64
-	// Recent is true when the member was heard within an election timeout.
-	Recent bool
+	// RecentlyActive is true when the member was heard within an election timeout.
+	RecentlyActive bool
 	// CaughtUp is true when the member may be promoted.
 	CaughtUp bool
 }
@@ -65,7 +65,7 @@
 	var list []PeerStatus
 	for _, m := range n.Members() {
 		if p := n.peers[m.ID]; p != nil {
-			list = append(list, PeerStatus{Member: m, Match: p.match, Recent: n.recent(m.ID), CaughtUp: n.caughtUp(m.ID)})
+			list = append(list, PeerStatus{Member: m, Match: p.match, RecentlyActive: n.recent(m.ID), CaughtUp: n.caughtUp(m.ID)})
 		}
 	}
 	return list
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -80,7 +80,7 @@
 	s := m.ask(ctx)
 	v := boot.View{Members: s.Members, Leads: s.Role == raft.RoleLeader, Led: s.Leader.ID != 0}
 	for _, p := range s.Peers {
-		if !p.Recent {
+		if !p.RecentlyActive {
 			v.Silent = append(v.Silent, p.Member.ID)
 		}
 	}
