--- a/core/state/store/files.go
+++ b/core/state/store/files.go
@@ -16,9 +16,9 @@
 	Close() error
 }
 
-// Files is the part of a file system that the store uses. Tests give one that
+// FileSystem is the part of a file system that the store uses. Tests give one that
 // fails on demand.
-type Files interface {
+type FileSystem interface {
 	MakeDir(dir string) error
 	// List returns the names in a folder, in any order.
 	List(dir string) ([]string, error)
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -14,7 +14,7 @@
 // KindLocked when another process uses the folder, KindCorrupt and KindGap
 // when data is damaged or missing, and KindNoMeta when there is data without
 // an identity: a new identity there would vote as a second member.
-func Open[C EntryCodec, F Files](dir string, opts Options[C, F]) (*Store[C, F], error) {
+func Open[C EntryCodec, F FileSystem](dir string, opts Options[C, F]) (*Store[C, F], error) {
 	s := &Store[C, F]{dir: dir, codec: opts.Codec, files: opts.Files, segmentBytes: opts.SegmentBytes}
 	if s.segmentBytes <= 0 {
 		s.segmentBytes = DefaultSegmentBytes
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -13,7 +13,7 @@
 const DefaultSegmentBytes = 4 << 20
 
 // Options configures a store.
-type Options[C EntryCodec, F Files] struct {
+type Options[C EntryCodec, F FileSystem] struct {
 	Codec C
 	Files F
 	// Self holds the settings of this member; its identity comes from the
@@ -26,7 +26,7 @@
 
 // Store is the open data folder of a control member. It belongs to one duty:
 // its methods must not be called concurrently.
-type Store[C EntryCodec, F Files] struct {
+type Store[C EntryCodec, F FileSystem] struct {
 	dir          string
 	codec        C
 	files        F
