--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -231,7 +231,7 @@
 		t.Failures = r.stepOf(o.Task).fails()
 	}
 	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, o.Run, o.Worker, o.Life
-	r.Started = true
+	r.EverAssigned = true
 	if r.Status == StatusQueued {
 		r.Status = StatusRunning
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -251,8 +251,8 @@
 	// Seq orders jobs by acceptance.
 	Seq    uint64
 	Status Status
-	// Started is set once a task has been assigned.
-	Started bool
+	// EverAssigned is set once a task has been assigned.
+	EverAssigned bool
 	// Ended is the time of the final status; 0 before.
 	Ended clock.Millis
 	// Occurrences has one entry for each repetition; one for a job that runs
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -346,7 +346,7 @@
 	for _, p := range b.pools {
 		seen := map[jobs.ID]bool{}
 		for _, g := range p.groups {
-			if g.rec.Queue == q && !g.rec.Started && g.rec.OccurrenceCount == 0 && !g.rec.Status.Final() && !seen[g.rec.ID] {
+			if g.rec.Queue == q && !g.rec.EverAssigned && g.rec.OccurrenceCount == 0 && !g.rec.Status.Final() && !seen[g.rec.ID] {
 				seen[g.rec.ID] = true
 				n++
 			}
