--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -129,7 +129,7 @@
 }
 
 func (s *State) finish(r *Record, to Status) {
-	r.Status, r.Ended = to, s.Time
+	r.Status, r.EndedAt = to, s.Time
 	// Nothing of an ended job is started any more.
 	r.Spec = ""
 	s.Ended = append(s.Ended, r.ID)
@@ -139,7 +139,7 @@
 func (s *State) forget() {
 	for len(s.Ended) > 0 {
 		r := s.Jobs[s.Ended[0]]
-		if r != nil && s.Time-r.Ended < Retention {
+		if r != nil && s.Time-r.EndedAt < Retention {
 			return
 		}
 		delete(s.Jobs, s.Ended[0])
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -253,8 +253,8 @@
 	Status Status
 	// EverAssigned is set once a task has been assigned.
 	EverAssigned bool
-	// Ended is the time of the final status; 0 before.
-	Ended clock.Millis
+	// EndedAt is the time of the final status; 0 before.
+	EndedAt clock.Millis
 	// Occurrences has one entry for each repetition; one for a job that runs
 	// once.
 	Occurrences []Occurrence
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -113,7 +113,7 @@
 	if r == nil {
 		return JobReport{}, false
 	}
-	x := JobReport{JobLine: lineOf(r), Pool: b.poolOf(r), Now: now, Ended: r.Ended}
+	x := JobReport{JobLine: lineOf(r), Pool: b.poolOf(r), Now: now, Ended: r.EndedAt}
 	for k := range r.Occurrences {
 		for i := range r.Steps {
 			x.Steps = append(x.Steps, b.explainStep(r, k, i, now))
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -149,7 +149,7 @@
 	n := 0
 	for _, a := range all {
 		r := b.State.Jobs[a.job.ID]
-		if r != nil && r.Status == jobs.StatusCompleted && r.Ended <= start+a.objective() {
+		if r != nil && r.Status == jobs.StatusCompleted && r.EndedAt <= start+a.objective() {
 			n++
 		}
 	}
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -93,7 +93,7 @@
 
 func recordToWire(r *jobs.Record) *wirepb.JobRecord {
 	w := &wirepb.JobRecord{
-		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.EverAssigned, EndedMs: int64(r.Ended),
+		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.EverAssigned, EndedMs: int64(r.EndedAt),
 	}
 	for _, o := range r.Occurrences {
 		wo := &wirepb.JobOccurrence{}
@@ -144,7 +144,7 @@
 		return nil, jobError(KindRange, "job %s has status %d", j.ID, w.GetStatus())
 	}
 	r := jobs.NewRecord(j, w.GetSeq())
-	r.Status, r.EverAssigned, r.Ended = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
+	r.Status, r.EverAssigned, r.EndedAt = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
 	if len(w.GetOccurrences()) != len(r.Occurrences) {
 		return nil, jobError(KindRange, "job %s has %d occurrences in place of %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
 	}
