--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -86,7 +86,7 @@
 
 // Count sets the sums of what is done from the phases of the tasks.
 func (r *Record) Count() {
-	r.Done = 0
+	r.DoneOccurrences = 0
 	for k := range r.Occurrences {
 		o := &r.Occurrences[k]
 		o.DoneSteps = 0
@@ -103,7 +103,7 @@
 			}
 		}
 		if o.DoneSteps == len(o.Steps) {
-			r.Done++
+			r.DoneOccurrences++
 		}
 	}
 }
@@ -287,8 +287,8 @@
 	if o.DoneSteps < len(o.Steps) {
 		return
 	}
-	r.Done++
-	if r.Done == len(r.Occurrences) && !r.Status.Final() {
+	r.DoneOccurrences++
+	if r.DoneOccurrences == len(r.Occurrences) && !r.Status.Final() {
 		s.finish(r, StatusCompleted)
 	}
 }
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -258,8 +258,8 @@
 	// Occurrences has one entry for each repetition; one for a job that runs
 	// once.
 	Occurrences []Occurrence
-	// Done counts the occurrences whose steps are all done.
-	Done int
+	// DoneOccurrences counts the occurrences whose steps are all done.
+	DoneOccurrences int
 }
 
 // Wave is a declared maintenance of machines.
