--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -84,8 +84,8 @@
 	return r
 }
 
-// Count sets the sums of what is done from the phases of the tasks.
-func (r *Record) Count() {
+// Recount sets the sums of what is done from the phases of the tasks.
+func (r *Record) Recount() {
 	r.DoneOccurrences = 0
 	for k := range r.Occurrences {
 		o := &r.Occurrences[k]
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -155,7 +155,7 @@
 			}
 		}
 	}
-	r.Count()
+	r.Recount()
 	return r, nil
 }
 
