--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -169,8 +169,8 @@
 	return &o.Steps[t.Step].Tasks[t.Index]
 }
 
-// All yields the tasks of the job in order.
-func (r *Record) All() iter.Seq2[Task, *TaskState] {
+// Tasks yields the tasks of the job in order.
+func (r *Record) Tasks() iter.Seq2[Task, *TaskState] {
 	return func(yield func(Task, *TaskState) bool) {
 		for k := range r.Occurrences {
 			for i := range r.Occurrences[k].Steps {
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -184,7 +184,7 @@
 
 // adopt enters a job that was accepted before this term.
 func (b *Board[O, J]) adopt(r *jobs.Record, now clock.Millis) {
-	for id, t := range r.All() {
+	for id, t := range r.Tasks() {
 		if t.Phase != jobs.PhaseAssigned {
 			continue
 		}
@@ -287,7 +287,7 @@
 		reason += fmt.Sprintf(", %d ms late", late)
 	}
 	runs, fails := 0, 0
-	for id, t := range r.All() {
+	for id, t := range r.Tasks() {
 		runs += t.Run
 		if id.Index == 0 {
 			fails += r.Fails(id.Occurrence, id.Step)
@@ -313,7 +313,7 @@
 
 // stopJob orders the end of what runs of a job that is over.
 func (b *Board[O, J]) stopJob(r *jobs.Record) {
-	for id, t := range r.All() {
+	for id, t := range r.Tasks() {
 		if w, x := b.assigned(id, t); x != nil {
 			b.stop(w, x, r.Status.String())
 		}
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -119,7 +119,7 @@
 			x.Steps = append(x.Steps, b.explainStep(r, k, i, now))
 		}
 	}
-	for t, state := range r.All() {
+	for t, state := range r.Tasks() {
 		if w, run := b.assigned(t, state); run != nil {
 			x.Runs = append(x.Runs, RunReport{
 				Task: t, Run: run.number, Worker: w.id, Percent: run.percent, Started: run.started, Stopping: run.why,
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -159,7 +159,7 @@
 
 // adoptGangs stops what is left of gangs that broke in an earlier term.
 func (b *Board[O, J]) adoptGangs(r *jobs.Record) {
-	for id, t := range r.All() {
+	for id, t := range r.Tasks() {
 		if t.Phase == jobs.PhaseWaiting && t.Run > 0 {
 			b.breakGang(r, id)
 		}
