--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -188,8 +188,8 @@
 // stepOf returns the state of a task's step.
 func (r *Record) stepOf(t Task) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
 
-// Fails counts the failed runs of a step; the tasks of a gang fail together.
-func (r *Record) Fails(occurrence, step int) int {
+// Failures counts the failed runs of a step; the tasks of a gang fail together.
+func (r *Record) Failures(occurrence, step int) int {
 	st := &r.Occurrences[occurrence].Steps[step]
 	if r.Steps[step].Gang {
 		return st.fails()
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -290,7 +290,7 @@
 	for id, t := range r.Tasks() {
 		runs += t.Run
 		if id.Index == 0 {
-			fails += r.Fails(id.Occurrence, id.Step)
+			fails += r.Failures(id.Occurrence, id.Step)
 		}
 	}
 	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, fails)
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -131,7 +131,7 @@
 
 func (b *Board[O, J]) explainStep(r *jobs.Record, k, i int, now clock.Millis) StepReport {
 	st := &r.Occurrences[k].Steps[i]
-	x := StepReport{Occurrence: k, Step: i, Tasks: len(st.Tasks), Done: st.DoneTasks, Fails: r.Fails(k, i)}
+	x := StepReport{Occurrence: k, Step: i, Tasks: len(st.Tasks), Done: st.DoneTasks, Fails: r.Failures(k, i)}
 	for _, t := range st.Tasks {
 		x.Runs += t.Run
 		switch t.Phase {
