--- a/core/coord/claim/claim.go
+++ b/core/coord/claim/claim.go
@@ -178,7 +178,7 @@
 }
 
 func (c *Claimer[P]) claims() model.Change {
-	return model.Change{Kind: model.ChangeClaims, Author: string(c.Owner), Process: c.Owner, Run: c.run}
+	return model.Change{Kind: model.ChangeClaims, Author: string(c.Owner), Process: c.Owner, Incarnation: c.run}
 }
 
 // announceRun tells the group that earlier runs have ended, so that callers
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -310,13 +310,13 @@
 	key := func(k string) model.ClaimKey { return model.ClaimKey{Customer: "acme", Service: "merge", Key: k} }
 	claim := func(index model.Version, k string, run uint64) model.ClaimAnswer {
 		r := s.Apply(index, model.Change{
-			Kind: model.ChangeClaims, Process: "e1", Run: run,
+			Kind: model.ChangeClaims, Process: "e1", Incarnation: run,
 			Claims: []model.Claim{{Key: key(k), Token: "t" + k}},
 		})
 		return r.Claims[0]
 	}
 	assert.Assert(t, claim(1, "a", 10).Granted)
-	s.Apply(2, model.Change{Kind: model.ChangeClaims, Process: "e1", Run: 11})
+	s.Apply(2, model.Change{Kind: model.ChangeClaims, Process: "e1", Incarnation: 11})
 	assert.Assert(t, claim(3, "b", 11).Granted)
 	held, _ := s.Claims.Get(key("a"))
 	assert.Equal(t, held.State, model.ClaimUnknown)
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -10,7 +10,7 @@
 // request was not finished. A claim without a token is refused: two attempts
 // without one would both be granted.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
-	s.beginRun(c.Process, c.Run)
+	s.beginRun(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
 		held, ok := s.Claims.Get(claim.Key)
@@ -18,7 +18,7 @@
 		case claim.Token == "" || claim.Key.Key == "":
 			r.Claims = append(r.Claims, model.ClaimAnswer{First: model.ClaimUnknown})
 		case !ok:
-			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Run: c.Run}, s.Time)
+			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Run: c.Incarnation}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		case held.Token == claim.Token && held.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -51,8 +51,8 @@
 	Outcomes    []ClaimOutcome
 	// Process and Run name the entry process that claims, and its incarnation;
 	// Process alone names one that is gone.
-	Process Process
-	Run     uint64
+	Process     Process
+	Incarnation uint64
 	// Ops are applied in order at Time.
 	Ops []jobs.Op
 }
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -28,7 +28,7 @@
 		w.Instances = list(c.Instances, InstanceStepToWire)
 	case model.ChangeClaims:
 		w.Claims = list(c.Claims, ClaimToWire)
-		w.Process, w.Run = text(c.Process), c.Run
+		w.Process, w.Run = text(c.Process), c.Incarnation
 	case model.ChangeOutcomes:
 		w.Outcomes = list(c.Outcomes, ClaimOutcomeToWire)
 	case model.ChangeProcessGone:
@@ -66,7 +66,7 @@
 		c.Instances, err = listFrom(w.GetInstances(), InstanceStepFromWire)
 	case model.ChangeClaims:
 		c.Claims, err = listFrom(w.GetClaims(), ClaimFromWire)
-		c.Process, c.Run = model.Process(w.GetProcess()), w.GetRun()
+		c.Process, c.Incarnation = model.Process(w.GetProcess()), w.GetRun()
 	case model.ChangeOutcomes:
 		c.Outcomes, err = listFrom(w.GetOutcomes(), ClaimOutcomeFromWire)
 	case model.ChangeProcessGone:
