--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -16,14 +16,14 @@
 		held, ok := s.Claims.Get(claim.Key)
 		switch {
 		case claim.Token == "" || claim.Key.Key == "":
-			r.Claims = append(r.Claims, model.ClaimAnswer{First: model.ClaimUnknown})
+			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: model.ClaimUnknown})
 		case !ok:
 			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Run: c.Incarnation}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		case held.Token == claim.Token && held.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		default:
-			r.Claims = append(r.Claims, model.ClaimAnswer{First: held.State, Status: held.Status})
+			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: held.State, Status: held.Status})
 		}
 	}
 	return r
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -104,9 +104,9 @@
 // ClaimAnswer tells the claimant whether it may run the request.
 type ClaimAnswer struct {
 	Granted bool
-	// First is the state of the request that holds the key.
-	First  ClaimState
-	Status int
+	// FirstState is the state of the request that holds the key.
+	FirstState ClaimState
+	Status     int
 }
 
 // ResultKind tells how a change ended.
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -168,7 +168,7 @@
 
 // ClaimAnswerToWire maps an answer.
 func ClaimAnswerToWire(a model.ClaimAnswer) *wirepb.ClaimAnswer {
-	return &wirepb.ClaimAnswer{Granted: a.Granted, First: int32(a.First), Status: int64(a.Status)}
+	return &wirepb.ClaimAnswer{Granted: a.Granted, First: int32(a.FirstState), Status: int64(a.Status)}
 }
 
 // ClaimAnswerFromWire maps an answer.
@@ -177,7 +177,7 @@
 	if err != nil {
 		return model.ClaimAnswer{}, err
 	}
-	return model.ClaimAnswer{Granted: w.GetGranted(), First: first, Status: int(w.GetStatus())}, nil
+	return model.ClaimAnswer{Granted: w.GetGranted(), FirstState: first, Status: int(w.GetStatus())}, nil
 }
 
 // ResultToWire maps a result.
--- a/io/proto/codec/change_test.go
+++ b/io/proto/codec/change_test.go
@@ -100,7 +100,7 @@
 	r.Differs = some(t, func(t *rapid.T) string { return rapid.String().Draw(t, "field") })
 	r.Claims = some(t, func(t *rapid.T) model.ClaimAnswer {
 		a := rapid.Make[model.ClaimAnswer]().Draw(t, "answer")
-		within(&a.First, model.ClaimUnknown)
+		within(&a.FirstState, model.ClaimUnknown)
 		return a
 	})
 	return r
--- a/io/trans/front/reply.go
+++ b/io/trans/front/reply.go
@@ -74,7 +74,7 @@
 func (f *Front[D, C]) duplicate(x *exchange, a model.ClaimAnswer) {
 	f.counts.duplicate.Add(1)
 	first := OutcomeUnknown
-	switch a.First {
+	switch a.FirstState {
 	case model.ClaimRunning:
 		first = "running"
 	case model.ClaimDone:
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -36,7 +36,7 @@
 		return model.ClaimAnswer{}, c.err
 	}
 	if o, ok := c.held[k]; ok {
-		return model.ClaimAnswer{First: o.State, Status: o.Status}, nil
+		return model.ClaimAnswer{FirstState: o.State, Status: o.Status}, nil
 	}
 	c.held[k] = model.ClaimOutcome{Key: k, Token: token}
 	return model.ClaimAnswer{Granted: true}, nil
