--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -82,11 +82,11 @@
 		}
 	}
 	return model.Result{
-		Kind:    model.ResultConflict,
-		Version: max(current, a.Version),
-		Winner:  a.Name,
-		Differs: differs,
-		Reason:  reason,
+		Kind:            model.ResultConflict,
+		Version:         max(current, a.Version),
+		Winner:          a.Name,
+		DifferingFields: differs,
+		Reason:          reason,
 	}
 }
 
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -211,7 +211,7 @@
 			assert.Equal(t, r.Kind, model.ResultConflict, "%+v", r)
 			assert.Equal(t, r.Winner, "ana")
 			assert.Equal(t, r.Version, model.Version(2))
-			assert.DeepEqual(t, r.Differs, c.differs)
+			assert.DeepEqual(t, r.DifferingFields, c.differs)
 		})
 	}
 }
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -126,8 +126,8 @@
 	Version Version
 	// Winner names the author of the change that won a conflict.
 	Winner string
-	// Differs lists the fields that differ from the winner's.
-	Differs []string
-	Reason  string
-	Claims  []ClaimAnswer
+	// DifferingFields lists the fields that differ from the winner's.
+	DifferingFields []string
+	Reason          string
+	Claims          []ClaimAnswer
 }
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -186,7 +186,7 @@
 		Kind:    int32(r.Kind),
 		Version: uint64(r.Version),
 		Winner:  text(r.Winner),
-		Differs: list(r.Differs, text[string]),
+		Differs: list(r.DifferingFields, text[string]),
 		Reason:  text(r.Reason),
 		Claims:  list(r.Claims, ClaimAnswerToWire),
 	}
@@ -203,11 +203,11 @@
 		return model.Result{}, err
 	}
 	return model.Result{
-		Kind:    kind,
-		Version: model.Version(w.GetVersion()),
-		Winner:  w.GetWinner(),
-		Differs: w.GetDiffers(),
-		Reason:  w.GetReason(),
-		Claims:  claims,
+		Kind:            kind,
+		Version:         model.Version(w.GetVersion()),
+		Winner:          w.GetWinner(),
+		DifferingFields: w.GetDiffers(),
+		Reason:          w.GetReason(),
+		Claims:          claims,
 	}, nil
 }
--- a/io/proto/codec/change_test.go
+++ b/io/proto/codec/change_test.go
@@ -97,7 +97,7 @@
 func anyResult(t *rapid.T) model.Result {
 	r := rapid.Make[model.Result]().Draw(t, "result")
 	within(&r.Kind, model.ResultInvalid)
-	r.Differs = some(t, func(t *rapid.T) string { return rapid.String().Draw(t, "field") })
+	r.DifferingFields = some(t, func(t *rapid.T) string { return rapid.String().Draw(t, "field") })
 	r.Claims = some(t, func(t *rapid.T) model.ClaimAnswer {
 		a := rapid.Make[model.ClaimAnswer]().Draw(t, "answer")
 		within(&a.FirstState, model.ClaimUnknown)
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -32,7 +32,7 @@
 	switch r.Kind {
 	case model.ResultConflict:
 		return failed("change", fmt.Errorf("conflict: %s, changed by %s at version %d; differs in: %s",
-			r.Reason, r.Winner, r.Version, strings.Join(r.Differs, ", ")))
+			r.Reason, r.Winner, r.Version, strings.Join(r.DifferingFields, ", ")))
 	case model.ResultInvalid:
 		return failed("change", errors.New("refused: "+r.Reason))
 	}
