--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -64,7 +64,7 @@
 		w.size.MilliCores = cores
 		w.size.MemoryMiB = cores * 2
 	}
-	board := NewPlacer(fit, sizer, PeerComparison{Least: 6}, Defaults())
+	board := NewPlacer(fit, sizer, PeerComparison{MinScore: 6}, Defaults())
 	f.fill(board)
 	for k := range 5 {
 		board.SetContract(teamContract(k, 50*cores/3))
@@ -121,7 +121,7 @@
 func BenchmarkJudge(b *testing.B) {
 	judges(b, "trust", NoQuarantine{})
 	judges(b, "streak", ConsecutiveFailures{N: 3})
-	judges(b, "peers", PeerComparison{Least: 6})
+	judges(b, "peers", PeerComparison{MinScore: 6})
 }
 
 func judges[J HealthPolicy](b *testing.B, name string, j J) {
@@ -161,7 +161,7 @@
 	runtime.ReadMemStats(&before)
 	set := Defaults()
 	set.Scan, set.LeaseMillis, set.TrialTasks = scan, 1000*clock.Day, 100
-	board := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{Least: 6}, set)
+	board := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, set)
 	for k := range workers {
 		id := WorkerID(fmt.Sprintf("w%04d", k))
 		board.SetWorker(Worker{ID: id, Size: Size{MilliCores: 16000, MemoryMiB: 32768}})
@@ -212,7 +212,7 @@
 		f := newFake(1, 500)
 		set := Defaults()
 		set.LeaseMillis, set.TrialTasks = clock.Day, 100
-		board := NewPlacer(WorstFit{}, Declared{}, PeerComparison{Least: 6}, set)
+		board := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
 		f.fill(board)
 		board.SetContract(teamContract(0, 2_500_000))
 		var ids []TaskID
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -51,8 +51,8 @@
 // weight is the log of how much likelier a broken worker explains it. A class
 // that fails everywhere weighs nothing.
 type PeerComparison struct {
-	// Least is the sum at which a worker is set aside.
-	Least float64
+	// MinScore is the sum at which a worker is set aside.
+	MinScore float64
 }
 
 // brokenRate is the share of runs that a broken worker is taken to fail.
@@ -69,7 +69,7 @@
 }
 
 // Threshold is Least.
-func (j PeerComparison) Threshold() float64 { return j.Least }
+func (j PeerComparison) Threshold() float64 { return j.MinScore }
 
 // Record is how a class of tasks fared on its latest workers.
 type Record struct {
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -68,7 +68,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
 		f.delay, f.drop = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "drop")
-		b := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{Least: 6}, Defaults())
+		b := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, Defaults())
 		f.fill(b)
 		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
 		for k := range 2 {
@@ -228,10 +228,10 @@
 // Guards against a worker that fails everything and keeps getting work, and
 // against workers condemned for tasks that fail everywhere.
 func TestBadWorkersAndBadTasks(t *testing.T) {
-	lost, aside := judged(PeerComparison{Least: 6}, 1, true, false)
+	lost, aside := judged(PeerComparison{MinScore: 6}, 1, true, false)
 	assert.DeepEqual(t, aside, []WorkerID{"w0003"})
 	assert.Assert(t, lost <= 8, "%d tasks were lost to the bad worker", lost)
-	_, aside = judged(PeerComparison{Least: 6}, 1, false, true)
+	_, aside = judged(PeerComparison{MinScore: 6}, 1, false, true)
 	assert.Equal(t, len(aside), 0)
 }
 
@@ -242,7 +242,7 @@
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
 		f.delay = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay"))
 		board := func(term int) *Placer[BestFit, Declared, PeerComparison] {
-			b := NewPlacer(BestFit{}, Declared{}, PeerComparison{Least: 6}, Defaults())
+			b := NewPlacer(BestFit{}, Declared{}, PeerComparison{MinScore: 6}, Defaults())
 			b.TakeOver(term, f.now)
 			f.fill(b)
 			b.SetContract(teamContract(0, 64000))
@@ -295,7 +295,7 @@
 	f := newFake(1, 40)
 	set := Defaults()
 	set.StopsPerPass, set.TrialTasks = 20, 100
-	b := NewPlacer(WorstFit{}, Declared{}, PeerComparison{Least: 6}, set)
+	b := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 1<<20))
 	b.SetContract(teamContract(1, 1<<20))
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -138,7 +138,7 @@
 	w.token++
 	w.stale = w.lead
 	w.lead = &leader{
-		board: NewBoard(w.set, EarliestObjective{}, place.PeerComparison{Least: 3}, w.committed.Clone(), w.now),
+		board: NewBoard(w.set, EarliestObjective{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
 		token: w.token, confirmed: w.now,
 	}
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -67,7 +67,7 @@
 	}
 	c.work = runner.New(runner.Parts[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestObjective{},
-		Judge: place.PeerComparison{Least: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
+		Judge: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
 		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
 	c.member.changed = c.work.Wake
