--- a/core/state/place/board.go
+++ b/core/state/place/board.go
@@ -21,7 +21,7 @@
 	tasks   map[TaskID]*task
 	workers map[WorkerID]*worker
 	teams   map[model.Customer]*team
-	classes map[Class]*Record
+	classes map[Class]*ClassHistory
 	// top is the most of each resource that any worker has.
 	top Size
 	// free orders workers by free room, soft by the room that would be free
@@ -109,7 +109,7 @@
 	return &Placer[F, S, J]{
 		fit: fit, sizer: sizer, judge: judge, set: set,
 		tasks: map[TaskID]*task{}, workers: map[WorkerID]*worker{}, teams: map[model.Customer]*team{},
-		classes: map[Class]*Record{}, free: room{at: map[WorkerID]int{}}, soft: room{at: map[WorkerID]int{}},
+		classes: map[Class]*ClassHistory{}, free: room{at: map[WorkerID]int{}}, soft: room{at: map[WorkerID]int{}},
 		heard: map[WorkerID]bool{}, full: map[WorkerID]bool{}, holds: map[WorkerID]bool{},
 		slack: map[WorkerID]bool{}, aside: map[WorkerID]bool{},
 	}
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -71,8 +71,8 @@
 // Threshold is Least.
 func (j PeerComparison) Threshold() float64 { return j.MinScore }
 
-// Record is how a class of tasks fared on its latest workers.
-type Record struct {
+// ClassHistory is how a class of tasks fared on its latest workers.
+type ClassHistory struct {
 	last  map[WorkerID]bool
 	order []WorkerID
 	fails int
@@ -82,10 +82,10 @@
 const keptWorkers = 64
 
 // NewRecord returns a record of no runs.
-func NewRecord() *Record { return &Record{last: map[WorkerID]bool{}} }
+func NewRecord() *ClassHistory { return &ClassHistory{last: map[WorkerID]bool{}} }
 
 // Note adds the end of a run on w.
-func (r *Record) Note(w WorkerID, failed bool) {
+func (r *ClassHistory) Note(w WorkerID, failed bool) {
 	if was, ok := r.last[w]; ok {
 		if was {
 			r.fails--
@@ -108,7 +108,7 @@
 }
 
 // Evidence describes a run on w next to the class's runs on other workers.
-func (r *Record) Evidence(w WorkerID, failed bool) Evidence {
+func (r *ClassHistory) Evidence(w WorkerID, failed bool) Evidence {
 	e := Evidence{Failed: failed, FailedPeers: r.fails, Peers: len(r.last)}
 	if was, ok := r.last[w]; ok {
 		e.Peers--
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -102,7 +102,7 @@
 	arrived clock.Millis
 	rate    float64
 	// records is how tasks of the pool fared on its workers, by queue.
-	records map[jobs.QueueName]*place.Record
+	records map[jobs.QueueName]*place.ClassHistory
 }
 
 type groupKey struct {
@@ -158,7 +158,7 @@
 	p := b.pools[name]
 	if p == nil {
 		p = &pool{
-			index: map[groupKey]*group{}, present: map[jobs.WorkerID]*worker{}, records: map[jobs.QueueName]*place.Record{},
+			index: map[groupKey]*group{}, present: map[jobs.WorkerID]*worker{}, records: map[jobs.QueueName]*place.ClassHistory{},
 		}
 		b.pools[name] = p
 	}
