--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -103,7 +103,7 @@
 	class := Class{t.Team, t.Class}
 	r := b.classes[class]
 	if r == nil {
-		r = NewRecord()
+		r = NewClassHistory()
 		b.classes[class] = r
 	}
 	n := b.judge.Score(r.Evidence(w.ID, failed))
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -81,8 +81,8 @@
 // keptWorkers bounds the workers that a class is remembered on.
 const keptWorkers = 64
 
-// NewRecord returns a record of no runs.
-func NewRecord() *ClassHistory { return &ClassHistory{last: map[WorkerID]bool{}} }
+// NewClassHistory returns a record of no runs.
+func NewClassHistory() *ClassHistory { return &ClassHistory{last: map[WorkerID]bool{}} }
 
 // Note adds the end of a run on w.
 func (r *ClassHistory) Note(w WorkerID, failed bool) {
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -306,7 +306,7 @@
 	p := b.pool(w.pool)
 	rec := p.records[r.rec.Queue]
 	if rec == nil {
-		rec = place.NewRecord()
+		rec = place.NewClassHistory()
 		p.records[r.rec.Queue] = rec
 	}
 	if failed && w.lastFailed == r.task.Job {
