--- a/core/state/place/ended.go
+++ b/core/state/place/ended.go
@@ -107,7 +107,7 @@
 		b.classes[class] = r
 	}
 	n := b.judge.Score(r.Evidence(w.ID, failed))
-	r.Note(w.ID, failed)
+	r.Add(w.ID, failed)
 	w.weight = max(0, w.weight+n)
 	if !failed {
 		w.streak, w.proven = 0, true
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -84,8 +84,8 @@
 // NewClassHistory returns a record of no runs.
 func NewClassHistory() *ClassHistory { return &ClassHistory{last: map[WorkerID]bool{}} }
 
-// Note adds the end of a run on w.
-func (r *ClassHistory) Note(w WorkerID, failed bool) {
+// Add adds the end of a run on w.
+func (r *ClassHistory) Add(w WorkerID, failed bool) {
 	if was, ok := r.last[w]; ok {
 		if was {
 			r.fails--
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -314,7 +314,7 @@
 	}
 	id := place.WorkerID(w.id)
 	w.weight = max(0, w.weight+b.judge.Score(rec.Evidence(id, failed)))
-	rec.Note(id, failed)
+	rec.Add(id, failed)
 	if !failed {
 		w.streak = 0
 		return
