--- a/core/coord/roster/roster.go
+++ b/core/coord/roster/roster.go
@@ -25,8 +25,8 @@
 	Announce(ctx context.Context, m model.Member, all []model.Announcement) error
 }
 
-// Roster passes announcements on.
-type Roster[S Sender] struct {
+// Forwarder passes announcements on.
+type Forwarder[S Sender] struct {
 	sender S
 	clock  clock.Clock
 	peers  []peer
@@ -39,8 +39,8 @@
 }
 
 // New returns a roster for the neighbours given.
-func New[S Sender](s S, neighbours []model.Member, c clock.Clock) *Roster[S] {
-	r := &Roster[S]{sender: s, clock: c, done: make(chan struct{})}
+func New[S Sender](s S, neighbours []model.Member, c clock.Clock) *Forwarder[S] {
+	r := &Forwarder[S]{sender: s, clock: c, done: make(chan struct{})}
 	for _, m := range neighbours {
 		r.peers = append(r.peers, peer{member: m, in: ring.New[model.Announcement](ringSize)})
 	}
@@ -49,14 +49,14 @@
 
 // Forward passes an announcement that this process received itself on to its
 // neighbours. It does not wait; a full ring is counted.
-func (r *Roster[S]) Forward(a model.Announcement) {
+func (r *Forwarder[S]) Forward(a model.Announcement) {
 	for _, p := range r.peers {
 		p.in.TryPut(a)
 	}
 }
 
 // Refused is the number of announcements that found a full ring.
-func (r *Roster[S]) Refused() int64 {
+func (r *Forwarder[S]) Refused() int64 {
 	var n int64
 	for _, p := range r.peers {
 		n += p.in.Refused()
@@ -65,7 +65,7 @@
 }
 
 // Run passes announcements on until Stop.
-func (r *Roster[S]) Run() error {
+func (r *Forwarder[S]) Run() error {
 	var wg sync.WaitGroup
 	for _, p := range r.peers {
 		wg.Add(1)
@@ -80,9 +80,9 @@
 }
 
 // Stop ends Run.
-func (r *Roster[S]) Stop() { close(r.done) }
+func (r *Forwarder[S]) Stop() { close(r.done) }
 
-func (r *Roster[S]) runPeer(p peer) {
+func (r *Forwarder[S]) runPeer(p peer) {
 	for {
 		select {
 		case a := <-p.in.C():
@@ -95,7 +95,7 @@
 
 // send gathers a batch, in which a later announcement of an instance replaces
 // an earlier one, and sends it.
-func (r *Roster[S]) send(p peer, first model.Announcement) {
+func (r *Forwarder[S]) send(p peer, first model.Announcement) {
 	select {
 	case <-r.clock.After(batchWait):
 	case <-r.done:
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -56,7 +56,7 @@
 	client   *peers.Client
 	poller   *follow.Poller[*peers.Client]
 	reporter *follow.Reporter[*peers.Leader]
-	roster   *roster.Roster[*peers.Client]
+	roster   *roster.Forwarder[*peers.Client]
 	claimer  *claim.Claimer[*peers.Leader]
 	lender   *lender.Lender[*peers.Client, *dispatcher, *uplink.Link]
 	link     *uplink.Link
