--- a/core/state/store/bench_test.go
+++ b/core/state/store/bench_test.go
@@ -55,7 +55,7 @@
 	for _, size := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("batch=%d", size), func(b *testing.B) {
 			dir := b.TempDir()
-			s, err := open(filepath.Join(dir, "data"), store.Disk{}, 0)
+			s, err := open(filepath.Join(dir, "data"), store.OSFileSystem{}, 0)
 			assert.NilError(b, err)
 			f, err := os.Create(filepath.Join(dir, "bare"))
 			assert.NilError(b, err)
@@ -105,7 +105,7 @@
 		for _, snapshot := range []bool{false, true} {
 			b.Run(fmt.Sprintf("changes=%d/snapshot=%v", n, snapshot), func(b *testing.B) {
 				dir := b.TempDir()
-				s, err := open(dir, store.Disk{}, 0)
+				s, err := open(dir, store.OSFileSystem{}, 0)
 				assert.NilError(b, err)
 				input, _ := batches(n, 100)
 				for _, batch := range input {
@@ -117,7 +117,7 @@
 				}
 				assert.NilError(b, s.Close())
 				for b.Loop() {
-					s, err := open(dir, store.Disk{}, 0)
+					s, err := open(dir, store.OSFileSystem{}, 0)
 					assert.NilError(b, err)
 					state := fleet.New()
 					meta, data, err := s.ReadSnapshot()
--- a/core/state/store/files.go
+++ b/core/state/store/files.go
@@ -35,22 +35,22 @@
 	Lock(path string) (release func() error, err error)
 }
 
-// Disk is the machine's file system.
-type Disk struct{}
+// OSFileSystem is the machine's file system.
+type OSFileSystem struct{}
 
 // MakeDir creates a folder and makes its name durable.
-func (Disk) MakeDir(dir string) error {
+func (OSFileSystem) MakeDir(dir string) error {
 	if _, err := os.Stat(dir); err == nil {
 		return nil
 	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return err
 	}
-	return Disk{}.SyncDir(filepath.Dir(dir))
+	return OSFileSystem{}.SyncDir(filepath.Dir(dir))
 }
 
 // List returns the names in a folder.
-func (Disk) List(dir string) ([]string, error) {
+func (OSFileSystem) List(dir string) ([]string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, err
@@ -63,15 +63,15 @@
 }
 
 // Open opens or creates a file for writing.
-func (Disk) Open(path string) (File, error) {
+func (OSFileSystem) Open(path string) (File, error) {
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE, 0o640)
 }
 
 // ReadFile returns the content of a file.
-func (Disk) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+func (OSFileSystem) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
 // Size returns the size of a file in bytes.
-func (Disk) Size(path string) (int64, error) {
+func (OSFileSystem) Size(path string) (int64, error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return 0, err
@@ -80,13 +80,13 @@
 }
 
 // Rename replaces to by from.
-func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+func (OSFileSystem) Rename(from, to string) error { return os.Rename(from, to) }
 
 // Remove removes a file.
-func (Disk) Remove(path string) error { return os.Remove(path) }
+func (OSFileSystem) Remove(path string) error { return os.Remove(path) }
 
 // SyncDir makes the names in a folder durable.
-func (Disk) SyncDir(dir string) error {
+func (OSFileSystem) SyncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
 		return err
@@ -96,7 +96,7 @@
 
 // Lock takes an exclusive advisory lock on a file. The kernel releases it
 // when the process ends, so that no stale lock survives a crash.
-func (Disk) Lock(path string) (release func() error, err error) {
+func (OSFileSystem) Lock(path string) (release func() error, err error) {
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o640)
 	if err != nil {
 		return nil, err
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -59,7 +59,7 @@
 	}
 	// lose removes entry 9 after it was recorded as committed.
 	lose := func(t *testing.T, dir string) {
-		s, err := open(dir, store.Disk{}, 100)
+		s, err := open(dir, store.OSFileSystem{}, 100)
 		assert.NilError(t, err)
 		assert.NilError(t, s.Save(&raft.HardState{Term: 1, Vote: 2, Commit: 9}, nil))
 		assert.NilError(t, s.Close())
@@ -99,7 +99,7 @@
 		{"snapshot short", cut(snap, 3), 0, store.KindCorrupt, snap},
 	}
 	origin := filepath.Join(t.TempDir(), "data")
-	s, err := open(origin, store.Disk{}, 100)
+	s, err := open(origin, store.OSFileSystem{}, 100)
 	assert.NilError(t, err)
 	id, hard := s.Stored().Self.ID, raft.HardState{Term: 1, Vote: 2, Commit: 8}
 	fill(t, s, 1, 11)
@@ -111,7 +111,7 @@
 			dir := filepath.Join(t.TempDir(), "copy")
 			assert.NilError(t, os.CopyFS(dir, os.DirFS(origin)))
 			c.damage(t, dir)
-			s, err := open(dir, store.Disk{}, 100)
+			s, err := open(dir, store.OSFileSystem{}, 100)
 			if c.last == 0 {
 				isKind(t, err, c.kind)
 				assert.ErrorContains(t, err, c.text)
@@ -132,13 +132,13 @@
 // TestLock guards against two processes on one folder.
 func TestLock(t *testing.T) {
 	dir := t.TempDir()
-	s, err := open(dir, store.Disk{}, 0)
+	s, err := open(dir, store.OSFileSystem{}, 0)
 	assert.NilError(t, err)
-	_, err = open(dir, store.Disk{}, 0)
+	_, err = open(dir, store.OSFileSystem{}, 0)
 	isKind(t, err, store.KindLocked)
 	assert.NilError(t, s.Close())
 	isKind(t, s.Save(nil, nil), store.KindClosed)
-	s, err = open(dir, store.Disk{}, 0)
+	s, err = open(dir, store.OSFileSystem{}, 0)
 	assert.NilError(t, err)
 	assert.NilError(t, s.Close())
 }
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -29,7 +29,7 @@
 // The policies of the product: a wave stops when what it touched fails
 // significantly more than its peers, and slows down by what callers feel.
 type (
-	disk       = store.Store[codec.Codec, store.Disk]
+	disk       = store.Store[codec.Codec, store.OSFileSystem]
 	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
 	moverParts = mover.Parts[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
 	keeperDuty = boot.Keeper[*peers.Client, *seat]
@@ -107,7 +107,7 @@
 	if self.Address == "" {
 		self.Zone, self.Address = cfg.Zone, cfg.Listen.Peers
 	}
-	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.Disk]{
+	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.OSFileSystem]{
 		Self:         raft.Member{Name: self.Name, Zone: self.Zone, Address: self.Address},
 		SegmentBytes: cfg.Consensus.SegmentBytes,
 	})
