--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -15,7 +15,7 @@
 // when data is damaged or missing, and KindNoMeta when there is data without
 // an identity: a new identity there would vote as a second member.
 func Open[C EntryCodec, F FileSystem](dir string, opts Options[C, F]) (*Store[C, F], error) {
-	s := &Store[C, F]{dir: dir, codec: opts.Codec, files: opts.Files, segmentBytes: opts.SegmentBytes}
+	s := &Store[C, F]{dir: dir, codec: opts.Codec, files: opts.FileSystem, segmentBytes: opts.SegmentBytes}
 	if s.segmentBytes <= 0 {
 		s.segmentBytes = DefaultSegmentBytes
 	}
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -14,8 +14,8 @@
 
 // Options configures a store.
 type Options[C EntryCodec, F FileSystem] struct {
-	Codec C
-	Files F
+	Codec      C
+	FileSystem F
 	// Self holds the settings of this member; its identity comes from the
 	// folder.
 	Self raft.Member
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -18,7 +18,7 @@
 var members = []raft.Member{{ID: 7, Name: "c1", Zone: "z", Address: "127.0.0.1:1", Voter: true}}
 
 func open[F store.FileSystem](dir string, files F, size int64) (*store.Store[codec.Codec, F], error) {
-	return store.Open(dir, store.Options[codec.Codec, F]{Files: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
+	return store.Open(dir, store.Options[codec.Codec, F]{FileSystem: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
 }
 
 // isKind fails when an error is not the package's own or of another kind.
