--- a/core/state/store/errors.go
+++ b/core/state/store/errors.go
@@ -24,8 +24,8 @@
 	KindGap
 	// KindNoMeta: the folder has data but no meta file.
 	KindNoMeta
-	// KindOrder: the call does not fit what is stored.
-	KindOrder
+	// KindOutOfOrder: the call does not fit what is stored.
+	KindOutOfOrder
 	// KindClosed: the store was closed.
 	KindClosed
 )
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -174,11 +174,11 @@
 	fill(t, s, 1, 4)
 	assert.NilError(t, s.Save(&raft.HardState{Term: 2, Commit: 3}, nil))
 	for _, batch := range [][]raft.Entry{{{Index: 6}}, {{Index: 3}}, {{Index: 4}, {Index: 6}}} {
-		isKind(t, s.Save(nil, batch), store.KindOrder)
+		isKind(t, s.Save(nil, batch), store.KindOutOfOrder)
 	}
-	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOrder)
-	isKind(t, s.Snapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOrder)
-	isKind(t, s.Install(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOrder)
+	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOutOfOrder)
+	isKind(t, s.Snapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOutOfOrder)
+	isKind(t, s.Install(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOutOfOrder)
 	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")))
 	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")), "a repeated call")
 	assert.NilError(t, s.Save(nil, []raft.Entry{{Index: 10, Term: 2}}))
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -231,5 +231,5 @@
 func (s *Store[C, F]) path(name string) string { return filepath.Join(s.dir, name) }
 
 func orderError(op, format string, args ...any) error {
-	return &Error{Op: op, Kind: KindOrder, Err: fmt.Errorf(format, args...)}
+	return &Error{Op: op, Kind: KindOutOfOrder, Err: fmt.Errorf(format, args...)}
 }
