--- a/core/state/store/errors.go
+++ b/core/state/store/errors.go
@@ -13,8 +13,8 @@
 const (
 	// KindIO: the file system failed.
 	KindIO Kind = iota
-	// KindFull: no space is left; the call may be made again later.
-	KindFull
+	// KindDiskFull: no space is left; the call may be made again later.
+	KindDiskFull
 	// KindLocked: another process uses the folder.
 	KindLocked
 	// KindCorrupt: a file's content contradicts its checksum or its
@@ -59,7 +59,7 @@
 func ioError(op string, err error) error {
 	kind := KindIO
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
-		kind = KindFull
+		kind = KindDiskFull
 	}
 	return &Error{Op: op, Kind: kind, Err: err}
 }
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -153,7 +153,7 @@
 	fill(t, s, 1, 2)
 	long := []raft.Entry{{Index: 3, Term: 1, Data: make([]byte, 500)}}
 	disk.countdown, disk.failure = 2, syscall.ENOSPC
-	isKind(t, s.Save(nil, long), store.KindFull)
+	isKind(t, s.Save(nil, long), store.KindDiskFull)
 	fill(t, s, 3, 3)
 	file := disk.names[filepath.Join("d", first)]
 	assert.Equal(t, len(file.data), 3*28)
