--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -16,7 +16,7 @@
 	pacer P
 	judge J
 	set   maint.Settings
-	board *maint.Board[P, J]
+	board *maint.Planner[P, J]
 	// declared holds the declarations that the board knows, by version.
 	declared map[string]model.Version
 }
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Board is the index that decisions are taken from. It is not safe for
+// Planner is the index that decisions are taken from. It is not safe for
 // concurrent use: one duty owns it.
-type Board[P Pacer, J Judge] struct {
+type Planner[P Pacer, J Judge] struct {
 	pacer P
 	judge J
 	set   Settings
@@ -66,10 +66,10 @@
 }
 
 // NewBoard returns a board that knows no instance.
-func NewBoard[P Pacer, J Judge](pacer P, judge J, set Settings) *Board[P, J] {
+func NewBoard[P Pacer, J Judge](pacer P, judge J, set Settings) *Planner[P, J] {
 	set.StepMillis = max(set.StepMillis, 1)
 	set.RetryMillis = max(set.RetryMillis, 1)
-	b := &Board[P, J]{
+	b := &Planner[P, J]{
 		pacer: pacer, judge: judge, set: set,
 		items:    map[model.InstanceID]*item{},
 		inPool:   map[model.Pool]map[model.InstanceID]*item{},
@@ -100,7 +100,7 @@
 }
 
 // Load tells the board a whole state.
-func (b *Board[P, J]) Load(in Input) {
+func (b *Planner[P, J]) Load(in Input) {
 	for _, c := range in.Contracts {
 		b.SetContract(c)
 	}
@@ -122,7 +122,7 @@
 }
 
 // SetInstance tells the board the state of an instance.
-func (b *Board[P, J]) SetInstance(i model.Instance) {
+func (b *Planner[P, J]) SetInstance(i model.Instance) {
 	it := b.item(i.ID)
 	b.undo(it)
 	delete(b.inPool[it.inst.Pool], i.ID)
@@ -134,7 +134,7 @@
 }
 
 // SetSeen tells the board what is known of an instance.
-func (b *Board[P, J]) SetSeen(id model.InstanceID, s Seen) {
+func (b *Planner[P, J]) SetSeen(id model.InstanceID, s Seen) {
 	it := b.item(id)
 	calls, failures := s.Calls-it.seen.Calls, s.Failures-it.seen.Failures
 	same := it.seen
@@ -156,7 +156,7 @@
 	}
 }
 
-func (b *Board[P, J]) item(id model.InstanceID) *item {
+func (b *Planner[P, J]) item(id model.InstanceID) *item {
 	it := b.items[id]
 	if it == nil {
 		it = &item{inst: model.Instance{ID: id, Phase: model.PhaseRetired}}
@@ -166,7 +166,7 @@
 }
 
 // SetContract tells the board a contract.
-func (b *Board[P, J]) SetContract(c model.Contract) {
+func (b *Planner[P, J]) SetContract(c model.Contract) {
 	pressure := 0
 	if old := b.accounts[c.Customer]; old != nil {
 		pressure = old.pressure
@@ -186,7 +186,7 @@
 }
 
 // RemoveContract makes the board forget a contract.
-func (b *Board[P, J]) RemoveContract(name model.Customer) {
+func (b *Planner[P, J]) RemoveContract(name model.Customer) {
 	a := b.accounts[name]
 	if a == nil {
 		return
@@ -201,21 +201,21 @@
 	b.checkAll()
 }
 
-func (b *Board[P, J]) undoPool(p model.Pool) {
+func (b *Planner[P, J]) undoPool(p model.Pool) {
 	b.dirty[p] = true
 	for _, it := range b.inPool[p] {
 		b.undo(it)
 	}
 }
 
-func (b *Board[P, J]) checkAll() {
+func (b *Planner[P, J]) checkAll() {
 	for _, n := range b.names {
 		b.check[n] = true
 	}
 }
 
 // SetDeclaration tells the board a maintenance declaration.
-func (b *Board[P, J]) SetDeclaration(m model.Maintenance) {
+func (b *Planner[P, J]) SetDeclaration(m model.Maintenance) {
 	b.RemoveDeclaration(m.Name)
 	b.waves[m.Name] = newWave(m)
 	b.names = append(b.names, m.Name)
@@ -227,7 +227,7 @@
 }
 
 // RemoveDeclaration makes the board forget a declaration.
-func (b *Board[P, J]) RemoveDeclaration(name string) {
+func (b *Planner[P, J]) RemoveDeclaration(name string) {
 	if b.waves[name] == nil {
 		return
 	}
@@ -241,7 +241,7 @@
 
 // SetOutage tells the board an outage. An entry with an end replaces the open
 // one with the same start.
-func (b *Board[P, J]) SetOutage(o Outage) {
+func (b *Planner[P, J]) SetOutage(o Outage) {
 	if it := b.items[o.Instance]; it != nil {
 		b.undo(it)
 	}
@@ -260,7 +260,7 @@
 }
 
 // SetPressure tells the board what a customer's callers feel, in permille.
-func (b *Board[P, J]) SetPressure(c model.Customer, permille int) {
+func (b *Planner[P, J]) SetPressure(c model.Customer, permille int) {
 	a := b.accounts[c]
 	if a == nil || a.pressure == permille {
 		return
@@ -269,7 +269,7 @@
 	b.touchPools(a)
 }
 
-func (b *Board[P, J]) touchPools(a *account) {
+func (b *Planner[P, J]) touchPools(a *account) {
 	for _, p := range a.pools {
 		b.dirty[p] = true
 	}
@@ -277,7 +277,7 @@
 
 // prune drops the outages that no customer's window reaches any more, once an
 // hour because it looks at all of them.
-func (b *Board[P, J]) prune(now clock.Millis) {
+func (b *Planner[P, J]) prune(now clock.Millis) {
 	if now < b.pruned+clock.Hour {
 		return
 	}
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -10,7 +10,7 @@
 
 // passDeadlines checks the waves whose check fell due and lists every deadline
 // that cannot be met.
-func (b *Board[P, J]) passDeadlines(now clock.Millis, plan *Plan) {
+func (b *Planner[P, J]) passDeadlines(now clock.Millis, plan *Plan) {
 	for _, name := range b.names {
 		w := b.waves[name]
 		if b.check[name] {
@@ -35,7 +35,7 @@
 // checkWave estimates for each customer when the wave would be done and
 // returns the time of the next check: often enough to see a change, and
 // always at the last moment at which a maintenance could still be started.
-func (b *Board[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.late = nil
 	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
 		return 0
@@ -78,7 +78,7 @@
 }
 
 // look sums up what a customer has left; total counts those under way too.
-func (b *Board[P, J]) look(w *wave, a *account, now clock.Millis) (o outlook, total int) {
+func (b *Planner[P, J]) look(w *wave, a *account, now clock.Millis) (o outlook, total int) {
 	o.left = map[string]int{}
 	own := map[model.Pool]bool{}
 	for _, p := range a.pools {
@@ -118,7 +118,7 @@
 	return o, total
 }
 
-func (b *Board[P, J]) checkCustomer(w *wave, a *account, now clock.Millis) {
+func (b *Planner[P, J]) checkCustomer(w *wave, a *account, now clock.Millis) {
 	o, total := b.look(w, a, now)
 	if total == 0 {
 		return
@@ -134,7 +134,7 @@
 // after the other, and which limit decides that; 0 for never. It assumes that
 // each maintenance takes as long as it may, so it does not grow while all goes
 // as planned.
-func (b *Board[P, J]) estimate(w *wave, a *account, o outlook, now clock.Millis) (clock.Millis, string) {
+func (b *Planner[P, J]) estimate(w *wave, a *account, o outlook, now clock.Millis) (clock.Millis, string) {
 	rest := 0
 	for _, n := range o.left {
 		rest += n
@@ -176,7 +176,7 @@
 }
 
 // opens is when the canary lets others start.
-func (b *Board[P, J]) opens(w *wave, o outlook, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) opens(w *wave, o outlook, now clock.Millis) clock.Millis {
 	switch {
 	case w.observed > 0:
 		return now
@@ -191,7 +191,7 @@
 
 // finishBusy is when the domain in which maintenance is under way is done:
 // each place that becomes free takes the next of its instances.
-func (b *Board[P, J]) finishBusy(o outlook, opens clock.Millis, width int) clock.Millis {
+func (b *Planner[P, J]) finishBusy(o outlook, opens clock.Millis, width int) clock.Millis {
 	if len(o.ends) == 0 {
 		return opens
 	}
@@ -209,7 +209,7 @@
 
 // checkPeriod reports, by pool, the instances that the periodic goal cannot
 // reach in time any more, and returns the time of the next check.
-func (b *Board[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.late = nil
 	next := now + max(b.set.MarginMillis/2, b.set.StepMillis)
 	for _, p := range sortedKeys(b.ready) {
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -20,7 +20,7 @@
 
 // pick returns the next instance of the pool that may be released, or the
 // limit that holds all of them.
-func (b *Board[P, J]) pick(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
+func (b *Planner[P, J]) pick(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
 	var first *Wait
 	var held []*wave
 	for _, s := range b.ready[p].order() {
@@ -56,7 +56,7 @@
 
 // elsewhere reports whether a customer of the pool has instances of another
 // domain than the instance's in maintenance or lost.
-func (b *Board[P, J]) elsewhere(p model.Pool, i model.Instance) bool {
+func (b *Planner[P, J]) elsewhere(p model.Pool, i model.Instance) bool {
 	for _, c := range b.holders[p] {
 		if a := b.accounts[c]; a.elsewhere(a.domainOf(i)) {
 			return true
@@ -67,7 +67,7 @@
 
 // blocked returns the first limit that keeps the instance from being
 // released; nil when none does.
-func (b *Board[P, J]) blocked(it *item, now clock.Millis) (*Wait, scope) {
+func (b *Planner[P, J]) blocked(it *item, now clock.Millis) (*Wait, scope) {
 	w := it.wave
 	wait := Wait{Pool: it.inst.Pool, Wave: w.decl.Name, Instance: it.inst.ID}
 	switch {
@@ -93,7 +93,7 @@
 
 // overLimit fills the wait when one more release would exceed what the
 // customer's contract allows.
-func (b *Board[P, J]) overLimit(it *item, a *account, now clock.Millis, wait *Wait) (scope, bool) {
+func (b *Planner[P, J]) overLimit(it *item, a *account, now clock.Millis, wait *Wait) (scope, bool) {
 	c := a.contract
 	if a.count+1 > c.MaxUnavailable {
 		wait.Limit, wait.Have, wait.Max = LimitCount, int64(a.count), int64(c.MaxUnavailable)
@@ -128,7 +128,7 @@
 }
 
 // needed is the number at once that would just meet the item's deadline.
-func (b *Board[P, J]) needed(it *item, a *account, now clock.Millis) int {
+func (b *Planner[P, J]) needed(it *item, a *account, now clock.Millis) int {
 	left := it.deadline - now
 	if left <= 0 {
 		return a.contract.MaxUnavailable
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -11,7 +11,7 @@
 
 // Pass returns the next steps. It changes nothing but the index: a step that
 // is not carried out is returned again by the next pass.
-func (b *Board[P, J]) Pass(now clock.Millis) Plan {
+func (b *Planner[P, J]) Pass(now clock.Millis) Plan {
 	var plan Plan
 	b.prune(now)
 	b.fire(now)
@@ -28,7 +28,7 @@
 	return plan
 }
 
-func (b *Board[P, J]) judgeWaves(plan *Plan) {
+func (b *Planner[P, J]) judgeWaves(plan *Plan) {
 	for _, name := range b.names {
 		w := b.waves[name]
 		reason := ""
@@ -46,7 +46,7 @@
 }
 
 // passFlight takes the steps of the instances whose maintenance has begun.
-func (b *Board[P, J]) passFlight(now clock.Millis, plan *Plan) {
+func (b *Planner[P, J]) passFlight(now clock.Millis, plan *Plan) {
 	back := map[model.Customer]int{}
 	for _, id := range sortedKeys(b.flight) {
 		it := b.flight[id]
@@ -73,7 +73,7 @@
 
 // releasing returns the step of an instance that is not handed over yet: back
 // to service when an unplanned loss has used up what its release counted on.
-func (b *Board[P, J]) releasing(it *item, now clock.Millis, back map[model.Customer]int) (StepKind, string) {
+func (b *Planner[P, J]) releasing(it *item, now clock.Millis, back map[model.Customer]int) (StepKind, string) {
 	reason := b.takeBack(it, now, back)
 	if reason != "" {
 		for _, c := range b.holders[it.inst.Pool] {
@@ -87,7 +87,7 @@
 	return StepHandOver, "every entry process of zone " + string(it.inst.Zone) + " confirmed the release"
 }
 
-func (b *Board[P, J]) takeBack(it *item, now clock.Millis, back map[model.Customer]int) string {
+func (b *Planner[P, J]) takeBack(it *item, now clock.Millis, back map[model.Customer]int) string {
 	if b.waves[it.wave.decl.Name] == nil {
 		return "the declaration was cancelled"
 	}
@@ -110,11 +110,11 @@
 	return ""
 }
 
-func (b *Board[P, J]) outages(p model.Pool) []Outage { return b.closed[p] }
+func (b *Planner[P, J]) outages(p model.Pool) []Outage { return b.closed[p] }
 
 // passReady starts due work in the pools where something changed. Pools come
 // in the order of their earliest deadline.
-func (b *Board[P, J]) passReady(now clock.Millis, plan *Plan) {
+func (b *Planner[P, J]) passReady(now clock.Millis, plan *Plan) {
 	pools := sortedKeys(b.dirty)
 	clear(b.dirty)
 	first := map[model.Pool]clock.Millis{}
@@ -153,7 +153,7 @@
 	}
 }
 
-func (b *Board[P, J]) hold(p model.Pool, w *Wait) {
+func (b *Planner[P, J]) hold(p model.Pool, w *Wait) {
 	if w == nil {
 		return
 	}
@@ -164,7 +164,7 @@
 }
 
 // reserve adds or takes back a release in the counts of the current pass.
-func (b *Board[P, J]) reserve(it *item, n int) {
+func (b *Planner[P, J]) reserve(it *item, n int) {
 	it.wave.tentative += n
 	for _, c := range b.holders[it.inst.Pool] {
 		a := b.accounts[c]
@@ -173,7 +173,7 @@
 	}
 }
 
-func (b *Board[P, J]) why(it *item) string {
+func (b *Planner[P, J]) why(it *item) string {
 	w := it.wave
 	if w.observed == 0 {
 		return "canary of " + w.decl.Name
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -8,7 +8,7 @@
 )
 
 // undo takes the item out of all counts and marks it for the next pass.
-func (b *Board[P, J]) undo(it *item) {
+func (b *Planner[P, J]) undo(it *item) {
 	b.stale[it.inst.ID] = true
 	if !it.applied {
 		return
@@ -46,7 +46,7 @@
 
 // apply adds the item to all counts as they are at now, and queues the next
 // time at which the passing of time alone changes them.
-func (b *Board[P, J]) apply(it *item, now clock.Millis) {
+func (b *Planner[P, J]) apply(it *item, now clock.Millis) {
 	if it.applied || it.inst.Phase == model.PhaseRetired {
 		return
 	}
@@ -70,7 +70,7 @@
 	b.queue(it, b.nextChange(it, now))
 }
 
-func (b *Board[P, J]) applyOut(it *item) {
+func (b *Planner[P, J]) applyOut(it *item) {
 	lost := it.seen.LostSince > 0
 	it.out = it.inst.Phase != model.PhaseServing || lost
 	if !it.out {
@@ -97,7 +97,7 @@
 	}
 }
 
-func (b *Board[P, J]) applyWave(it *item, w *wave, stuck bool, now clock.Millis) {
+func (b *Planner[P, J]) applyWave(it *item, w *wave, stuck bool, now clock.Millis) {
 	if deadline, ok := w.wants(b.set, it.inst, now); ok {
 		it.pending = append(it.pending, w)
 		if len(w.pending) == 0 {
@@ -129,7 +129,7 @@
 // applyFlight counts an instance whose maintenance has begun. Its wave may be
 // gone, when the declaration was cancelled; it is then counted for the
 // orphan wave, which starts nothing.
-func (b *Board[P, J]) applyFlight(it *item) {
+func (b *Planner[P, J]) applyFlight(it *item) {
 	if it.wave == nil {
 		it.wave = newWave(model.Maintenance{Name: "cancelled"})
 	}
@@ -139,13 +139,13 @@
 }
 
 // wakeCanary looks at all pools of a wave again that waits for its canary.
-func (b *Board[P, J]) wakeCanary(w *wave) {
+func (b *Planner[P, J]) wakeCanary(w *wave) {
 	if w.observed == 0 {
 		b.touchWave(w)
 	}
 }
 
-func (b *Board[P, J]) touchWave(w *wave) {
+func (b *Planner[P, J]) touchWave(w *wave) {
 	for p := range w.byPool {
 		b.dirty[p] = true
 	}
@@ -153,7 +153,7 @@
 
 // nextChange is the earliest time after now at which apply would count the
 // item differently; 0 for never.
-func (b *Board[P, J]) nextChange(it *item, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) nextChange(it *item, now clock.Millis) clock.Millis {
 	next := clock.Millis(0)
 	at := func(t clock.Millis) {
 		if t > now && (next == 0 || t < next) {
@@ -181,7 +181,7 @@
 	return next
 }
 
-func (b *Board[P, J]) queue(it *item, next clock.Millis) {
+func (b *Planner[P, J]) queue(it *item, next clock.Millis) {
 	if next == 0 || (it.wake != 0 && it.wake <= next) {
 		return
 	}
@@ -189,7 +189,7 @@
 	b.due.Push(due{at: next, instance: string(it.inst.ID)})
 }
 
-func (b *Board[P, J]) yard(p model.Pool) *yard {
+func (b *Planner[P, J]) yard(p model.Pool) *yard {
 	y := b.ready[p]
 	if y == nil {
 		y = &yard{}
@@ -199,7 +199,7 @@
 }
 
 // fire handles everything that fell due and refreshes what changed.
-func (b *Board[P, J]) fire(now clock.Millis) {
+func (b *Planner[P, J]) fire(now clock.Millis) {
 	for b.due.Len() > 0 && b.due.Top().at <= now {
 		d := b.due.Pop()
 		switch {
@@ -227,7 +227,7 @@
 }
 
 // markAll makes the pass look at the whole fleet.
-func (b *Board[P, J]) markAll() {
+func (b *Planner[P, J]) markAll() {
 	for _, it := range b.items {
 		b.undo(it)
 	}
@@ -239,7 +239,7 @@
 
 // wakeAt queues a look at a pool or a wave; key is "pool " or "wave " and the
 // name.
-func (b *Board[P, J]) wakeAt(key string, d due) {
+func (b *Planner[P, J]) wakeAt(key string, d due) {
 	if held, ok := b.wakes[key]; ok && held <= d.at {
 		return
 	}
