--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -30,7 +30,7 @@
 
 // Reset forgets everything and takes the finished outages, for a new term.
 func (b *Board[P, J]) Reset(outages []model.Outage) {
-	b.board = maint.NewBoard(b.pacer, b.judge, b.set)
+	b.board = maint.NewPlanner(b.pacer, b.judge, b.set)
 	b.declared = map[string]model.Version{}
 	for _, o := range outages {
 		b.board.SetOutage(maint.Outage{Instance: o.Instance, Pool: o.Pool, From: o.From, To: o.To})
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -35,7 +35,7 @@
 				w := newWorld(seed, 50, 3, 5, 5, covers, most)
 				w.phase = clock.Millis(seed) * 12 * clock.Minute
 				m := w.declare(8 * clock.Hour)
-				board := NewBoard(p, Score{Z: 4, Least: 3}, quick())
+				board := NewPlanner(p, Score{Z: 4, Least: 3}, quick())
 				board.Load(w.input())
 				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
 					out := w.peak()
@@ -119,7 +119,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	board := NewBoard(FullSpeed{}, Score{Z: 4, Least: 3}, set)
+	board := NewPlanner(FullSpeed{}, Score{Z: 4, Least: 3}, set)
 	board.Load(w.input())
 	board.Pass(w.now)
 	runtime.GC()
@@ -185,7 +185,7 @@
 func judgedRun[J Judge](j J, seed uint64, bad bool) *world {
 	w := newWorld(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
-	board := NewBoard(FullSpeed{}, j, quick())
+	board := NewPlanner(FullSpeed{}, j, quick())
 	board.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
 		for _, id := range sortedKeys(w.inst) {
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -65,8 +65,8 @@
 	wake clock.Millis
 }
 
-// NewBoard returns a board that knows no instance.
-func NewBoard[P Pacer, J Judge](pacer P, judge J, set Settings) *Planner[P, J] {
+// NewPlanner returns a board that knows no instance.
+func NewPlanner[P Pacer, J Judge](pacer P, judge J, set Settings) *Planner[P, J] {
 	set.StepMillis = max(set.StepMillis, 1)
 	set.RetryMillis = max(set.RetryMillis, 1)
 	b := &Planner[P, J]{
@@ -94,7 +94,7 @@
 
 // Decide fills a board from the whole state and returns its first pass.
 func Decide[P Pacer, J Judge](pacer P, judge J, set Settings, in Input, now clock.Millis) Plan {
-	b := NewBoard(pacer, judge, set)
+	b := NewPlanner(pacer, judge, set)
 	b.Load(in)
 	return b.Pass(now)
 }
