--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -92,8 +92,8 @@
 	return b
 }
 
-// Decide fills a board from the whole state and returns its first pass.
-func Decide[P Pacer, J Judge](pacer P, judge J, set Settings, in Input, now clock.Millis) Plan {
+// PlanOnce fills a board from the whole state and returns its first pass.
+func PlanOnce[P Pacer, J Judge](pacer P, judge J, set Settings, in Input, now clock.Millis) Plan {
 	b := NewPlanner(pacer, judge, set)
 	b.Load(in)
 	return b.Pass(now)
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -31,7 +31,7 @@
 		tell(w, b)
 		plan := b.Pass(w.now)
 		if w.now%(7*clock.Minute) == 0 {
-			fresh := Decide(p, j, set, w.input(), w.now)
+			fresh := PlanOnce(p, j, set, w.input(), w.now)
 			assert.DeepEqual(t, fresh.Steps, plan.Steps)
 			assert.DeepEqual(t, fresh.Stops, plan.Stops)
 		}
@@ -102,7 +102,7 @@
 		n := rapid.IntRange(3, 30).Draw(t, "n")
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := w.declare(1)
-		late := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now).Late
+		late := PlanOnce(FullSpeed{}, Never{}, quick(), w.input(), w.now).Late
 		assert.Equal(t, len(late), 1)
 		w.decls[0].Deadline = late[0].Estimate
 		m = w.decls[0]
@@ -146,7 +146,7 @@
 	w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
 	releases := func(p int) (int, Plan) {
 		w.pressure["c00"] = p
-		plan := Decide(Deadline{Slow: 50, Halt: 200}, Never{}, quick(), w.input(), w.now)
+		plan := PlanOnce(Deadline{Slow: 50, Halt: 200}, Never{}, quick(), w.input(), w.now)
 		return len(plan.Steps), plan
 	}
 	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
@@ -179,7 +179,7 @@
 		i.Phase, i.Target, i.PhaseSince = model.PhaseReleasing, target, w.now
 		w.inst[id] = i
 	}
-	plan := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now)
+	plan := PlanOnce(FullSpeed{}, Never{}, quick(), w.input(), w.now)
 	assert.Equal(t, len(plan.Steps), 1)
 	assert.Equal(t, plan.Steps[0].Kind, StepRelease)
 	assert.Equal(t, w.inst[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
