--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -12,7 +12,7 @@
 
 // Board decides maintenance waves by package maint. It follows the table by
 // what changed, and is filled anew in each term.
-type Board[P maint.Pacer, J maint.Judge] struct {
+type Board[P maint.Pacer, J maint.StopPolicy] struct {
 	pacer P
 	judge J
 	set   maint.Settings
@@ -22,7 +22,7 @@
 }
 
 // NewBoard returns a board with the policies given.
-func NewBoard[P maint.Pacer, J maint.Judge](p P, j J, set maint.Settings) *Board[P, J] {
+func NewBoard[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *Board[P, J] {
 	b := &Board[P, J]{pacer: p, judge: j, set: set}
 	b.Reset(nil)
 	return b
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -45,7 +45,7 @@
 }
 
 // Mover is the duty. Its methods may be called from any goroutine.
-type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
+type Mover[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	Parts[G, P, C, J, A, S]
 	in    *ring.Queue[input]
 	done  chan struct{}
@@ -87,7 +87,7 @@
 }
 
 // Parts are what a mover works with.
-type Parts[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
+type Parts[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	// Name is the author of the mover's changes.
 	Name string
 	// Entries lists the configured entry processes of all zones.
@@ -102,7 +102,7 @@
 }
 
 // New returns a mover; Run must be called for it to do anything.
-func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser](p Parts[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
+func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](p Parts[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
 	m := &Mover[G, P, C, J, A, S]{
 		Parts: p,
 		in:    ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -163,7 +163,7 @@
 	judged(b, "score", Score{Z: 4, Least: 3})
 }
 
-func judged[J Judge](b *testing.B, name string, j J) {
+func judged[J StopPolicy](b *testing.B, name string, j J) {
 	b.Run(name, func(b *testing.B) {
 		var touched, wrong float64
 		for b.Loop() {
@@ -182,7 +182,7 @@
 
 // judgedRun runs a wave for four hours. A returned instance has run few
 // requests at first: 8 a minute, one in 400 of which fails as on its peers.
-func judgedRun[J Judge](j J, seed uint64, bad bool) *world {
+func judgedRun[J StopPolicy](j J, seed uint64, bad bool) *world {
 	w := newWorld(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
 	board := NewPlanner(FullSpeed{}, j, quick())
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -11,7 +11,7 @@
 
 // Planner is the index that decisions are taken from. It is not safe for
 // concurrent use: one duty owns it.
-type Planner[P Pacer, J Judge] struct {
+type Planner[P Pacer, J StopPolicy] struct {
 	pacer P
 	judge J
 	set   Settings
@@ -66,7 +66,7 @@
 }
 
 // NewPlanner returns a board that knows no instance.
-func NewPlanner[P Pacer, J Judge](pacer P, judge J, set Settings) *Planner[P, J] {
+func NewPlanner[P Pacer, J StopPolicy](pacer P, judge J, set Settings) *Planner[P, J] {
 	set.StepMillis = max(set.StepMillis, 1)
 	set.RetryMillis = max(set.RetryMillis, 1)
 	b := &Planner[P, J]{
@@ -93,7 +93,7 @@
 }
 
 // PlanOnce fills a board from the whole state and returns its first pass.
-func PlanOnce[P Pacer, J Judge](pacer P, judge J, set Settings, in Input, now clock.Millis) Plan {
+func PlanOnce[P Pacer, J StopPolicy](pacer P, judge J, set Settings, in Input, now clock.Millis) Plan {
 	b := NewPlanner(pacer, judge, set)
 	b.Load(in)
 	return b.Pass(now)
--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -21,9 +21,9 @@
 	t.Failures += sign * u.Failures
 }
 
-// Judge is the policy that stops a wave when the instances it touched fail
+// StopPolicy is the policy that stops a wave when the instances it touched fail
 // more than their untouched peers. The reason is empty while it goes on.
-type Judge interface {
+type StopPolicy interface {
 	Stop(touched, peers Tally) (reason string)
 }
 
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -24,7 +24,7 @@
 
 // run advances the world until the time is reached and the board with it. At
 // every pass a board that is newly filled has to decide the same.
-func run[P Pacer, J Judge](t rapid.TB, w *world, p P, j J, set Settings, until clock.Millis, each func()) {
+func run[P Pacer, J StopPolicy](t rapid.TB, w *world, p P, j J, set Settings, until clock.Millis, each func()) {
 	b := NewPlanner(p, j, set)
 	b.Load(Input{Contracts: w.contracts, Declarations: w.decls})
 	for w.now < until {
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -69,7 +69,7 @@
 func out(i model.Instance, s Seen) bool { return i.Phase != model.PhaseServing || s.LostSince > 0 }
 
 // tell passes on what changed since the last call.
-func tell[P Pacer, J Judge](w *world, b *Planner[P, J]) {
+func tell[P Pacer, J StopPolicy](w *world, b *Planner[P, J]) {
 	for id, i := range w.inst {
 		if k := slices.IndexFunc(w.told.Instances, func(x model.Instance) bool { return x.ID == id }); k < 0 {
 			w.told.Instances = append(w.told.Instances, i)
