--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -27,11 +27,11 @@
 	Stop(touched, peers Tally) (reason string)
 }
 
-// Never is the baseline: it stops nothing.
-type Never struct{}
+// NeverStop is the baseline: it stops nothing.
+type NeverStop struct{}
 
 // Stop returns no reason.
-func (Never) Stop(Tally, Tally) string { return "" }
+func (NeverStop) Stop(Tally, Tally) string { return "" }
 
 // Ratio stops when the touched fail Factor times as often as their peers.
 type Ratio struct {
