--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -33,15 +33,15 @@
 // Stop returns no reason.
 func (NeverStop) Stop(Tally, Tally) string { return "" }
 
-// Ratio stops when the touched fail Factor times as often as their peers.
-type Ratio struct {
+// RatioTest stops when the touched fail Factor times as often as their peers.
+type RatioTest struct {
 	Factor float64
 	// Least is the number of failures below which nothing is concluded.
 	Least int64
 }
 
 // Stop compares requests first and whole instances then.
-func (j Ratio) Stop(t, p Tally) string {
+func (j RatioTest) Stop(t, p Tally) string {
 	// One failure is added to the peers: few of them, and none with a failure,
 	// are left at the end of a wave.
 	if p.Calls > 0 && t.Failures >= j.Least && rate(t.Failures, t.Calls) > j.Factor*rate(p.Failures+1, p.Calls) {
