--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -53,9 +53,9 @@
 	return ""
 }
 
-// Score stops when the difference of the failure rates is larger than Z
+// ZTest stops when the difference of the failure rates is larger than Z
 // standard errors, so that few calls conclude little and many conclude more.
-type Score struct {
+type ZTest struct {
 	Z float64
 	// Least is the number of failed requests below which nothing is
 	// concluded: one failure among the first eight requests of a canary is
@@ -65,7 +65,7 @@
 
 // Stop compares requests first and whole instances then. A single failed
 // instance among healthy peers is enough only when the wave touched few.
-func (j Score) Stop(t, p Tally) string {
+func (j ZTest) Stop(t, p Tally) string {
 	if t.Failures >= j.Least && score(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
 		return explain("requests", t.Failures, t.Calls, p.Failures, p.Calls)
 	}
