--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -84,7 +84,7 @@
 }
 
 // keep carries the counts over to what is newly known of an instance.
-func keep(old, s maint.Seen) maint.Seen {
+func keep(old, s maint.Observation) maint.Observation {
 	s.Calls, s.Failures = old.Calls, old.Failures
 	return s
 }
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -63,7 +63,7 @@
 	// silent holds the zones of which no entry process has reported lately.
 	silent map[model.Zone]bool
 	// seen is what the board was last told of an instance.
-	seen map[model.InstanceID]maint.Seen
+	seen map[model.InstanceID]maint.Observation
 	// felt sums what callers felt lately.
 	felt feeling
 	// outage is the last finished outage that was read.
@@ -119,7 +119,7 @@
 	m.moving = map[model.InstanceID]bool{}
 	m.away = map[model.InstanceID]bool{}
 	m.silent = map[model.Zone]bool{}
-	m.seen = map[model.InstanceID]maint.Seen{}
+	m.seen = map[model.InstanceID]maint.Observation{}
 	m.felt = newFeeling()
 	m.outage = model.Outage{}
 	m.began = m.Clock.Now()
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -112,12 +112,12 @@
 	delete(m.rebooted, i.ID)
 	if i.Phase == model.PhaseServing {
 		m.registry.Watch(i.ID, now)
-		m.see(i.ID, keep(m.seen[i.ID], maint.Seen{LostSince: i.LostSince}))
+		m.see(i.ID, keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince}))
 	}
 }
 
 // see tells the board what is known of an instance, when that changed.
-func (m *Mover[G, P, C, J, A, S]) see(id model.InstanceID, s maint.Seen) {
+func (m *Mover[G, P, C, J, A, S]) see(id model.InstanceID, s maint.Observation) {
 	if m.seen[id] == s {
 		return
 	}
@@ -145,7 +145,7 @@
 		if !changed[i.Zone] || i.Phase != model.PhaseServing {
 			continue
 		}
-		s := keep(m.seen[i.ID], maint.Seen{LostSince: i.LostSince})
+		s := keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince})
 		if s.LostSince == 0 && m.silent[i.Zone] {
 			s.LostSince = now
 		}
@@ -157,7 +157,7 @@
 func (m *Mover[G, P, C, J, A, S]) seeUnderWay() {
 	for _, id := range slices.Sorted(maps.Keys(m.away)) {
 		i := m.table.Instances[id]
-		s := keep(m.seen[id], maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
+		s := keep(m.seen[id], maint.Observation{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
 		if i.Phase == model.PhaseMaintenance {
 			l, live := m.registry.Live[id]
 			s.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -49,7 +49,7 @@
 // item is an instance with what it currently contributes to the counts.
 type item struct {
 	inst model.Instance
-	seen Seen
+	seen Observation
 	// applied is set while the fields below are part of the counts.
 	applied bool
 	out     bool
@@ -134,7 +134,7 @@
 }
 
 // SetSeen tells the board what is known of an instance.
-func (b *Planner[P, J]) SetSeen(id model.InstanceID, s Seen) {
+func (b *Planner[P, J]) SetSeen(id model.InstanceID, s Observation) {
 	it := b.item(id)
 	calls, failures := s.Calls-it.seen.Calls, s.Failures-it.seen.Failures
 	same := it.seen
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// Seen is what entry processes and announcements say about an instance.
-type Seen struct {
+// Observation is what entry processes and announcements say about an instance.
+type Observation struct {
 	// Drained: every entry process of the zone confirmed the release.
 	Drained bool
 	// Restarted: announced with a higher incarnation since it was handed over.
@@ -70,7 +70,7 @@
 // Input is the whole state that a decision depends on.
 type Input struct {
 	Instances    []model.Instance
-	Seen         map[model.InstanceID]Seen
+	Seen         map[model.InstanceID]Observation
 	Contracts    []model.Contract
 	Declarations []model.Maintenance
 	Outages      []Outage
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -17,7 +17,7 @@
 	// phase shifts the hours with peaks.
 	phase clock.Millis
 	inst  map[model.InstanceID]model.Instance
-	seen  map[model.InstanceID]Seen
+	seen  map[model.InstanceID]Observation
 	// ready is when the next thing happens to an instance out of service.
 	ready     map[model.InstanceID]clock.Millis
 	contracts []model.Contract
@@ -35,7 +35,7 @@
 func newWorld(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, most int) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: clock.Day, inst: map[model.InstanceID]model.Instance{},
-		seen: map[model.InstanceID]Seen{}, ready: map[model.InstanceID]clock.Millis{},
+		seen: map[model.InstanceID]Observation{}, ready: map[model.InstanceID]clock.Millis{},
 		pressure: map[model.Customer]int{}, late: map[string]clock.Millis{},
 	}
 	for k := range n {
@@ -46,7 +46,7 @@
 			ID: id, Zone: model.Zone(fmt.Sprintf("z%02d", zone)), Pool: pool, Target: pool, Slots: 8,
 			Rack: model.Rack(fmt.Sprintf("z%02d-r%03d", zone, k/zones/4)), MaintainedAt: 1,
 		}
-		w.seen[id] = Seen{Calls: 200, Failures: int64(w.rnd.IntN(2))}
+		w.seen[id] = Observation{Calls: 200, Failures: int64(w.rnd.IntN(2))}
 	}
 	for k := 0; k < pools; k += perContract {
 		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%02d", k)), Covers: covers, MaxUnavailable: most}
@@ -66,7 +66,9 @@
 	return in
 }
 
-func out(i model.Instance, s Seen) bool { return i.Phase != model.PhaseServing || s.LostSince > 0 }
+func out(i model.Instance, s Observation) bool {
+	return i.Phase != model.PhaseServing || s.LostSince > 0
+}
 
 // tell passes on what changed since the last call.
 func tell[P Pacer, J StopPolicy](w *world, b *Planner[P, J]) {
@@ -79,7 +81,7 @@
 			b.SetInstance(i)
 		}
 		if w.told.Seen == nil {
-			w.told.Seen = map[model.InstanceID]Seen{}
+			w.told.Seen = map[model.InstanceID]Observation{}
 		}
 		if w.told.Seen[id] != w.seen[id] {
 			w.told.Seen[id] = w.seen[id]
