--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -110,7 +110,7 @@
 	for _, i := range in.Instances {
 		b.SetInstance(i)
 	}
-	for id, s := range in.Seen {
+	for id, s := range in.Observations {
 		b.SetSeen(id, s)
 	}
 	for _, o := range in.Outages {
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -70,7 +70,7 @@
 // Input is the whole state that a decision depends on.
 type Input struct {
 	Instances    []model.Instance
-	Seen         map[model.InstanceID]Observation
+	Observations map[model.InstanceID]Observation
 	Contracts    []model.Contract
 	Declarations []model.Maintenance
 	Outages      []Outage
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -59,7 +59,7 @@
 }
 
 func (w *world) input() Input {
-	in := Input{Seen: w.seen, Contracts: w.contracts, Declarations: w.decls, Outages: w.outages, Pressure: w.pressure}
+	in := Input{Observations: w.seen, Contracts: w.contracts, Declarations: w.decls, Outages: w.outages, Pressure: w.pressure}
 	for _, id := range sortedKeys(w.inst) {
 		in.Instances = append(in.Instances, w.inst[id])
 	}
@@ -80,11 +80,11 @@
 			w.told.Instances[k] = i
 			b.SetInstance(i)
 		}
-		if w.told.Seen == nil {
-			w.told.Seen = map[model.InstanceID]Observation{}
+		if w.told.Observations == nil {
+			w.told.Observations = map[model.InstanceID]Observation{}
 		}
-		if w.told.Seen[id] != w.seen[id] {
-			w.told.Seen[id] = w.seen[id]
+		if w.told.Observations[id] != w.seen[id] {
+			w.told.Observations[id] = w.seen[id]
 			b.SetSeen(id, w.seen[id])
 		}
 	}
