--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -1,7 +1,7 @@
 package maint
 
-// Felt is what a pacer decides by, for one customer.
-type Felt struct {
+// PacerInput is what a pacer decides by, for one customer.
+type PacerInput struct {
 	// Pressure is felt by the customer's callers, in permille.
 	Pressure int
 	// Max is the customer's max-unavailable.
@@ -13,7 +13,7 @@
 // Pacer is the policy that says how many of a customer's instances may be in
 // maintenance at once, given what its callers feel.
 type Pacer interface {
-	Width(Felt) int
+	Width(PacerInput) int
 }
 
 // FullSpeed is the baseline: as many as the contract allows, whatever callers
@@ -21,7 +21,7 @@
 type FullSpeed struct{}
 
 // Width returns the contract's bound.
-func (FullSpeed) Width(f Felt) int { return f.Max }
+func (FullSpeed) Width(f PacerInput) int { return f.Max }
 
 // Proportional slows down in proportion to the pressure and halts at Halt.
 type Proportional struct {
@@ -31,7 +31,7 @@
 }
 
 // Width is at least 1 below Halt, so that a wave under light pressure goes on.
-func (p Proportional) Width(f Felt) int {
+func (p Proportional) Width(f PacerInput) int {
 	if f.Pressure >= p.Halt {
 		return 0
 	}
@@ -48,7 +48,7 @@
 }
 
 // Width returns the larger of both, within the contract's bound.
-func (p Deadline) Width(f Felt) int {
+func (p Deadline) Width(f PacerInput) int {
 	if f.Pressure >= p.Halt {
 		return 0
 	}
