--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -2,8 +2,8 @@
 
 // PacerInput is what a pacer decides by, for one customer.
 type PacerInput struct {
-	// Pressure is felt by the customer's callers, in permille.
-	Pressure int
+	// PressurePermille is felt by the customer's callers, in permille.
+	PressurePermille int
 	// Max is the customer's max-unavailable.
 	Max int
 	// Needed is the number at once that would just meet the deadline.
@@ -32,10 +32,10 @@
 
 // Width is at least 1 below Halt, so that a wave under light pressure goes on.
 func (p Proportional) Width(f PacerInput) int {
-	if f.Pressure >= p.Halt {
+	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.Max, max(1, f.Max*(p.Halt-f.Pressure)/p.Halt))
+	return min(f.Max, max(1, f.Max*(p.Halt-f.PressurePermille)/p.Halt))
 }
 
 // Deadline slows down like Proportional but never below what the deadline
@@ -49,7 +49,7 @@
 
 // Width returns the larger of both, within the contract's bound.
 func (p Deadline) Width(f PacerInput) int {
-	if f.Pressure >= p.Halt {
+	if f.PressurePermille >= p.Halt {
 		return 0
 	}
 	return min(f.Max, max(f.Needed, Proportional{Halt: p.Slow}.Width(f)))
