--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -4,8 +4,8 @@
 type PacerInput struct {
 	// PressurePermille is felt by the customer's callers, in permille.
 	PressurePermille int
-	// Max is the customer's max-unavailable.
-	Max int
+	// MaxUnavailable is the customer's max-unavailable.
+	MaxUnavailable int
 	// Needed is the number at once that would just meet the deadline.
 	Needed int
 }
@@ -21,7 +21,7 @@
 type FullSpeed struct{}
 
 // Width returns the contract's bound.
-func (FullSpeed) Width(f PacerInput) int { return f.Max }
+func (FullSpeed) Width(f PacerInput) int { return f.MaxUnavailable }
 
 // Proportional slows down in proportion to the pressure and halts at Halt.
 type Proportional struct {
@@ -35,7 +35,7 @@
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.Max, max(1, f.Max*(p.Halt-f.PressurePermille)/p.Halt))
+	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.Halt-f.PressurePermille)/p.Halt))
 }
 
 // Deadline slows down like Proportional but never below what the deadline
@@ -52,5 +52,5 @@
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.Max, max(f.Needed, Proportional{Halt: p.Slow}.Width(f)))
+	return min(f.MaxUnavailable, max(f.Needed, Proportional{Halt: p.Slow}.Width(f)))
 }
