--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -6,8 +6,8 @@
 	PressurePermille int
 	// MaxUnavailable is the customer's max-unavailable.
 	MaxUnavailable int
-	// Needed is the number at once that would just meet the deadline.
-	Needed int
+	// NeededForDeadline is the number at once that would just meet the deadline.
+	NeededForDeadline int
 }
 
 // Pacer is the policy that says how many of a customer's instances may be in
@@ -52,5 +52,5 @@
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(f.Needed, Proportional{Halt: p.Slow}.Width(f)))
+	return min(f.MaxUnavailable, max(f.NeededForDeadline, Proportional{Halt: p.Slow}.Width(f)))
 }
