--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -96,7 +96,7 @@
 // The leader sets the change's time. Errors of kind outcome-unknown leave open
 // whether the change is applied; after all others it never is.
 func (g *Group[S, C]) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	a, err := g.call(ctx, input{kind: inputPropose, op: "propose", change: c}, KindUnknown)
+	a, err := g.call(ctx, input{kind: inputPropose, op: "propose", change: c}, KindOutcomeUnknown)
 	return a.result, err
 }
 
@@ -153,12 +153,12 @@
 // listed member of the same name whose identity no longer answers is removed
 // first. The leader promotes the new member when it has caught up.
 func (g *Group[S, C]) Join(ctx context.Context, m raft.Member) ([]raft.Member, error) {
-	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindUnknown)
+	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
 }
 
 // Remove asks the leader to remove a member and returns nil once it is done.
 func (g *Group[S, C]) Remove(ctx context.Context, id raft.MemberID) error {
-	_, err := g.call(ctx, input{kind: inputRemove, op: "remove", member: raft.Member{ID: id}}, KindUnknown)
+	_, err := g.call(ctx, input{kind: inputRemove, op: "remove", member: raft.Member{ID: id}}, KindOutcomeUnknown)
 	return err
 }
--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -27,9 +27,9 @@
 	KindStopped
 	// KindCanceled: the caller's context ended before a read or a query.
 	KindCanceled
-	// KindUnknown: the change may have been applied or may still be. A resend
+	// KindOutcomeUnknown: the change may have been applied or may still be. A resend
 	// with the same request identity tells.
-	KindUnknown
+	KindOutcomeUnknown
 	// KindCorrupt: stored or replicated data cannot be decoded.
 	KindCorrupt
 )
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -148,7 +148,7 @@
 	go func() { read <- c.group(old).Read(context.Background()) }()
 	lead := c.leader(others(old)...)
 	kind, _ := kindOf(c.wait(end).err)
-	assert.Assert(t, kind == KindUnknown || kind == KindNotLeader)
+	assert.Assert(t, kind == KindOutcomeUnknown || kind == KindNotLeader)
 	assert.Assert(t, <-read != nil)
 
 	again := c.wait(c.propose(lead, apply("a", "request-1")))
@@ -167,7 +167,7 @@
 	assert.NilError(t, c.wait(c.propose(bad, apply("a", ""))).err)
 	c.disks[bad].broken.Store(true)
 	kind, _ := kindOf(c.wait(c.propose(bad, apply("b", "request-2"))).err)
-	assert.Equal(t, kind, KindUnknown)
+	assert.Equal(t, kind, KindOutcomeUnknown)
 	kind, _ = kindOf(c.wait(c.propose(bad, apply("c", ""))).err)
 	assert.Equal(t, kind, KindDisk)
 
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -171,7 +171,7 @@
 func (g *Group[S, C]) failWaiting(reason string) {
 	for index, w := range g.waiting {
 		g.counts.Unknown++
-		w.reply <- answer{err: failf(w.op, KindUnknown, "%s before entry %d was committed", reason, index)}
+		w.reply <- answer{err: failf(w.op, KindOutcomeUnknown, "%s before entry %d was committed", reason, index)}
 	}
 	clear(g.waiting)
 	for _, reply := range g.reads {
@@ -179,7 +179,7 @@
 	}
 	clear(g.reads)
 	for _, in := range g.joins {
-		in.answer(answer{err: failf(in.op, KindUnknown, "%s", reason)})
+		in.answer(answer{err: failf(in.op, KindOutcomeUnknown, "%s", reason)})
 	}
 	g.joins = nil
 }
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -200,7 +200,7 @@
 func (m *seat) Certain(err error) bool {
 	var n notLeading
 	var e *group.Error
-	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindUnknown)
+	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
 }
 
 // notLeading says that this process does not lead and which one does.
