--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -41,9 +41,9 @@
 	Tick clock.Millis
 	// QueueCapacity is the number of inputs that may wait.
 	QueueCapacity int
-	// MaxWaiting is the number of proposals that may wait for their commit,
+	// MaxPending is the number of proposals that may wait for their commit,
 	// and of reads that may wait for their confirmation.
-	MaxWaiting int
+	MaxPending int
 	// SnapshotEntries is the number of applied entries between two snapshots.
 	SnapshotEntries uint64
 	// RetryDelay is the time between two tries on a failing disk.
@@ -159,7 +159,7 @@
 // of kind disk or corrupt.
 func New[S Storage, C Codec](cfg Config, stored raft.StoredState, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
 	cfg.QueueCapacity = max(cfg.QueueCapacity, 16)
-	cfg.MaxWaiting = max(cfg.MaxWaiting, 1)
+	cfg.MaxPending = max(cfg.MaxPending, 1)
 	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
 	cfg.Tick = min(max(cfg.Tick, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
 	cfg.RetryDelay = max(cfg.RetryDelay, 1)
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -59,7 +59,7 @@
 		in.answer(answer{err: g.notLeader(in.op)})
 		return
 	}
-	if len(g.waiting) >= g.cfg.MaxWaiting {
+	if len(g.waiting) >= g.cfg.MaxPending {
 		in.answer(answer{err: failf(in.op, KindBusy, "%d proposals wait for their commit", len(g.waiting))})
 		return
 	}
@@ -85,7 +85,7 @@
 }
 
 func (g *Group[S, C]) read(in input) {
-	if len(g.reads) >= g.cfg.MaxWaiting {
+	if len(g.reads) >= g.cfg.MaxPending {
 		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for their confirmation", len(g.reads))})
 		return
 	}
