--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -36,9 +36,9 @@
 // Config sets up the duty. Values below 1 take the smallest sensible value.
 type Config struct {
 	Raft raft.Config
-	// Tick is the time between two looks at the clock; at most half of the
+	// TickInterval is the time between two looks at the clock; at most half of the
 	// heartbeat interval.
-	Tick clock.Millis
+	TickInterval clock.Millis
 	// QueueCapacity is the number of inputs that may wait.
 	QueueCapacity int
 	// MaxPending is the number of proposals that may wait for their commit,
@@ -161,7 +161,7 @@
 	cfg.QueueCapacity = max(cfg.QueueCapacity, 16)
 	cfg.MaxPending = max(cfg.MaxPending, 1)
 	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
-	cfg.Tick = min(max(cfg.Tick, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
+	cfg.TickInterval = min(max(cfg.TickInterval, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
 	cfg.RetryDelay = max(cfg.RetryDelay, 1)
 	if cfg.Send == nil {
 		cfg.Send = func([]raft.Message) {}
@@ -206,7 +206,7 @@
 func (g *Group[S, C]) Run() error {
 	defer close(g.done)
 	defer g.abandon()
-	tick := g.clock.After(g.cfg.Tick)
+	tick := g.clock.After(g.cfg.TickInterval)
 	batch := make([]input, 0, g.cfg.QueueCapacity)
 	for g.terminalErr == nil {
 		select {
@@ -219,7 +219,7 @@
 			}
 			clear(batch)
 		case <-tick:
-			tick = g.clock.After(g.cfg.Tick)
+			tick = g.clock.After(g.cfg.TickInterval)
 			g.tick()
 		}
 		g.flush()
