--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -121,8 +121,8 @@
 	Dropped int64
 	// Invalid counts peer messages that contradicted committed entries.
 	Invalid int64
-	// Unknown counts proposals that ended with an unknown outcome.
-	Unknown int64
+	// OutcomesUnknown counts proposals that ended with an unknown outcome.
+	OutcomesUnknown int64
 }
 
 // Status is a report of the member.
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -170,7 +170,7 @@
 // still be committed by the next leader.
 func (g *Group[S, C]) failWaiting(reason string) {
 	for index, w := range g.waiting {
-		g.counts.Unknown++
+		g.counts.OutcomesUnknown++
 		w.reply <- answer{err: failf(w.op, KindOutcomeUnknown, "%s before entry %d was committed", reason, index)}
 	}
 	clear(g.waiting)
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -235,7 +235,7 @@
 		{"log-write-failures", consensusCount(func(n group.Counts) int64 { return n.DiskFailures })},
 		{"snapshots", consensusCount(func(n group.Counts) int64 { return n.Snapshots })},
 		{"snapshot-failures", consensusCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
-		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.Unknown })},
+		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
 		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.Refused })},
 	})
 	_ = admin.Value(r, "leader", func() int64 {
