--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -117,8 +117,8 @@
 	Installs         int64
 	// Refused counts inputs that found the ring full.
 	Refused int64
-	// Dropped counts peer messages that were ignored while the disk failed.
-	Dropped int64
+	// DroppedMessages counts peer messages that were ignored while the disk failed.
+	DroppedMessages int64
 	// Invalid counts peer messages that contradicted committed entries.
 	Invalid int64
 	// OutcomesUnknown counts proposals that ended with an unknown outcome.
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -47,7 +47,7 @@
 // refuse turns an input away while the disk fails.
 func (g *Group[S, C]) refuse(in input) {
 	if in.kind == inputMessages {
-		g.counts.Dropped += int64(len(in.messages))
+		g.counts.DroppedMessages += int64(len(in.messages))
 		return
 	}
 	in.answer(answer{err: failf(in.op, KindDisk, "%w", g.failure)})
