--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -119,8 +119,8 @@
 	Refused int64
 	// DroppedMessages counts peer messages that were ignored while the disk failed.
 	DroppedMessages int64
-	// Invalid counts peer messages that contradicted committed entries.
-	Invalid int64
+	// InvalidMessages counts peer messages that contradicted committed entries.
+	InvalidMessages int64
 	// OutcomesUnknown counts proposals that ended with an unknown outcome.
 	OutcomesUnknown int64
 }
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -101,7 +101,7 @@
 	now := g.clock.Now()
 	for _, m := range messages {
 		if g.node.Step(m, now) != nil {
-			g.counts.Invalid++
+			g.counts.InvalidMessages++
 		}
 	}
 }
