--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -115,8 +115,8 @@
 	SnapshotFailures int64
 	Snapshots        int64
 	Installs         int64
-	// Refused counts inputs that found the ring full.
-	Refused int64
+	// RefusedInputs counts inputs that found the ring full.
+	RefusedInputs int64
 	// DroppedMessages counts peer messages that were ignored while the disk failed.
 	DroppedMessages int64
 	// InvalidMessages counts peer messages that contradicted committed entries.
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -159,7 +159,7 @@
 		Commit: g.node.Commit(), Applied: g.applied, Snapshot: g.snapped, Version: g.state.Version,
 		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), Waiting: len(g.waiting), Counts: g.counts,
 	}
-	s.Counts.Refused = g.ring.Refused()
+	s.Counts.RefusedInputs = g.ring.Refused()
 	if g.failed != nil {
 		s.Disk = g.failure.Error()
 	}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -236,7 +236,7 @@
 		{"snapshots", consensusCount(func(n group.Counts) int64 { return n.Snapshots })},
 		{"snapshot-failures", consensusCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
 		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
-		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.Refused })},
+		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.RefusedInputs })},
 	})
 	_ = admin.Value(r, "leader", func() int64 {
 		if _, ok := c.member.Leads(); ok {
