--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -138,8 +138,8 @@
 	Version  model.Version
 	Members  []raft.Member
 	// Peers is set on the leader.
-	Peers   []raft.PeerStatus
-	Waiting int
+	Peers            []raft.PeerStatus
+	PendingProposals int
 	// Disk is the error of the last failed write while the disk fails.
 	Disk   string
 	Counts Counts
