--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -140,9 +140,9 @@
 	// Peers is set on the leader.
 	Peers            []raft.PeerStatus
 	PendingProposals int
-	// Disk is the error of the last failed write while the disk fails.
-	Disk   string
-	Counts Counts
+	// DiskError is the error of the last failed write while the disk fails.
+	DiskError string
+	Counts    Counts
 }
 
 // view is what the duty last reported and acted on.
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -174,10 +174,10 @@
 	lead := c.leader(others(bad)...)
 	assert.NilError(t, c.wait(c.propose(lead, apply("b", "request-2"))).err)
 	c.until("retries", func() bool { return c.status(bad).Counts.DiskFailures > 2 })
-	assert.Assert(t, c.status(bad).Disk != "")
+	assert.Assert(t, c.status(bad).DiskError != "")
 	assert.Equal(t, c.contracts(bad), 1)
 	c.disks[bad].broken.Store(false)
-	c.until("the return", func() bool { return c.contracts(bad) == 2 && c.status(bad).Disk == "" })
+	c.until("the return", func() bool { return c.contracts(bad) == 2 && c.status(bad).DiskError == "" })
 }
 
 // join adds a member and waits until it votes and the group has the size.
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -161,7 +161,7 @@
 	}
 	s.Counts.RefusedInputs = g.ring.Refused()
 	if g.failed != nil {
-		s.Disk = g.failure.Error()
+		s.DiskError = g.failure.Error()
 	}
 	return s
 }
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -134,7 +134,7 @@
 			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
 		})
 	}
-	if s.Disk != "" && (before == nil || before.Disk == "") {
-		f.c.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.Disk})
+	if s.DiskError != "" && (before == nil || before.DiskError == "") {
+		f.c.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
 	}
 }
