--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -131,12 +131,12 @@
 	Role raft.Role
 	Term uint64
 	// Leader has the ID 0 when no leader is known.
-	Leader   raft.Member
-	Commit   uint64
-	Applied  uint64
-	Snapshot uint64
-	Version  model.Version
-	Members  []raft.Member
+	Leader        raft.Member
+	Commit        uint64
+	Applied       uint64
+	SnapshotIndex uint64
+	Version       model.Version
+	Members       []raft.Member
 	// Peers is set on the leader.
 	Peers            []raft.PeerStatus
 	PendingProposals int
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -156,7 +156,7 @@
 func (g *Group[S, C]) status() Status {
 	s := Status{
 		Self: g.node.Self(), Role: g.node.Role(), Term: g.node.Term(), Leader: g.member(g.node.Leader()),
-		Commit: g.node.Commit(), Applied: g.applied, Snapshot: g.snapped, Version: g.state.Version,
+		Commit: g.node.Commit(), Applied: g.applied, SnapshotIndex: g.snapped, Version: g.state.Version,
 		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), PendingProposals: len(g.waiting), Counts: g.counts,
 	}
 	s.Counts.RefusedInputs = g.ring.Refused()
