--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -100,9 +100,9 @@
 	return a.result, err
 }
 
-// Read returns nil when a query that follows sees every change that was
+// ReadBarrier returns nil when a query that follows sees every change that was
 // acknowledged before the call, by any member.
-func (g *Group[S, C]) Read(ctx context.Context) error {
+func (g *Group[S, C]) ReadBarrier(ctx context.Context) error {
 	_, err := g.call(ctx, input{kind: inputRead, op: "read"}, KindCanceled)
 	return err
 }
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -100,9 +100,9 @@
 	kind, leader := kindOf(o.err)
 	assert.Equal(t, kind, KindNotLeader)
 	assert.Equal(t, leader.ID, lead)
-	kind, _ = kindOf(c.group(follower).Read(t.Context()))
+	kind, _ = kindOf(c.group(follower).ReadBarrier(t.Context()))
 	assert.Equal(t, kind, KindNotLeader)
-	assert.NilError(t, c.group(lead).Read(t.Context()))
+	assert.NilError(t, c.group(lead).ReadBarrier(t.Context()))
 }
 
 // TestBatch guards against a sync for each proposal: those that wait share one.
@@ -145,7 +145,7 @@
 	c.links.cut(old, true)
 	end := c.propose(old, apply("b", "request-2"))
 	read := make(chan error, 1)
-	go func() { read <- c.group(old).Read(context.Background()) }()
+	go func() { read <- c.group(old).ReadBarrier(context.Background()) }()
 	lead := c.leader(others(old)...)
 	kind, _ := kindOf(c.wait(end).err)
 	assert.Assert(t, kind == KindOutcomeUnknown || kind == KindNotLeader)
@@ -269,7 +269,7 @@
 		c.group(id + 1).Stop()
 		<-c.group(id + 1).Done()
 	}
-	kind, _ := kindOf(c.group(lead).Read(t.Context()))
+	kind, _ := kindOf(c.group(lead).ReadBarrier(t.Context()))
 	assert.Equal(t, kind, KindStopped)
 	for id := range raft.MemberID(3) {
 		c.start(raft.Member{ID: id + 1}, c.disks[id+1])
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	return mapped(d.Read(ctx))
+	return mapped(d.ReadBarrier(ctx))
 }
 
 // Query runs f on the replicated state.
