--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -15,21 +15,21 @@
 func (b *Board[O, J]) Beat(h Beat, now clock.Millis) bool {
 	b.now = max(b.now, now)
 	w := b.workers[h.Worker]
-	if w != nil && (h.Life < w.life || (h.Life == w.life && w.known && h.Seq <= w.seq)) {
+	if w != nil && (h.Incarnation < w.life || (h.Incarnation == w.life && w.known && h.Seq <= w.seq)) {
 		return false
 	}
-	if m := b.machines[h.Machine]; m != nil && m.id != h.Worker && h.Life < m.life {
+	if m := b.machines[h.Machine]; m != nil && m.id != h.Worker && h.Incarnation < m.life {
 		return false
 	}
-	if h.Life <= b.ended[h.Worker] {
+	if h.Incarnation <= b.ended[h.Worker] {
 		return false
 	}
-	if w != nil && h.Life > w.life {
+	if w != nil && h.Incarnation > w.life {
 		b.remove(w, "a new life of the worker began", now)
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, life: h.Life, runs: map[jobs.Task]*run{}, until: h.Received + b.longest(), pace: pace{percent: fullPace}}
+		w = &worker{id: h.Worker, life: h.Incarnation, runs: map[jobs.Task]*run{}, until: h.Received + b.longest(), pace: pace{percent: fullPace}}
 		b.workers[h.Worker] = w
 		b.leases.Push(dueLease{at: w.until, w: w})
 	}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -220,7 +220,7 @@
 			racked := func(id, rack string) {
 				r.seq++
 				r.Beat(Beat{
-					Worker: jobs.WorkerID(id), Life: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
+					Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
 					Seq: r.seq, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Received: r.now,
 				}, r.now)
 			}
@@ -265,7 +265,7 @@
 	r.submit("a", small)
 	r.seq++
 	r.Beat(Beat{
-		Worker: "w1", Life: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
+		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
 		Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Received: r.now,
 	}, r.now)
 	r.Pass(r.now)
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -177,7 +177,7 @@
 	w.seq++
 	w.waits = true
 	h := Beat{
-		Worker: w.id, Life: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
+		Worker: w.id, Incarnation: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
 		Room: jobs.Size{MilliCores: loadCores, MemoryMiB: 1 << 20}, Received: now,
 	}
 	for id, r := range w.runs {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -79,12 +79,12 @@
 
 // Beat is a heartbeat of a worker.
 type Beat struct {
-	Worker  jobs.WorkerID
-	Life    jobs.Life
-	Machine jobs.MachineID
-	Pool    jobs.PoolName
-	Zone    string
-	Labels  []string
+	Worker      jobs.WorkerID
+	Incarnation jobs.Life
+	Machine     jobs.MachineID
+	Pool        jobs.PoolName
+	Zone        string
+	Labels      []string
 	// Seq grows with each heartbeat of a life.
 	Seq int64
 	// Room is all that the worker has for tasks.
