--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -170,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	return r.Beat(ctx, sched.Beat{
-		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Room: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
+		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Capacity: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
 	})
 }
 
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -74,7 +74,7 @@
 	}
 	w.machine, w.pool, w.zone, w.labels = h.Machine, h.Pool, h.Zone, h.Labels
 	w.rack = rackOf(h.Labels)
-	w.seq, w.room, w.known = h.Seq, h.Room, true
+	w.seq, w.room, w.known = h.Seq, h.Capacity, true
 	if h.Machine != "" {
 		b.machines[h.Machine] = w
 	}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -87,8 +87,8 @@
 	Labels      []string
 	// Seq grows with each heartbeat of a life.
 	Seq int64
-	// Room is all that the worker has for tasks.
-	Room jobs.Size
+	// Capacity is all that the worker has for tasks.
+	Capacity jobs.Size
 	// Draining workers get no new task. Remaining is the least time that is
 	// left to them.
 	Draining  bool
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -460,7 +460,7 @@
 	x.seq++
 	x.sent = w.now
 	h := Beat{
-		Worker: x.id, Incarnation: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Room: x.room,
+		Worker: x.id, Incarnation: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.room,
 		Draining: x.draining, Ends: slices.Clone(x.ends), Received: w.now,
 	}
 	for t, r := range x.runs {
