--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -210,7 +210,7 @@
 // not-leader, busy, unknown or stale.
 func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Beat) (HeartbeatReply, error) {
 	reply := make(chan beatAnswer, 1)
-	h.Received = r.clock.Now()
+	h.ReceivedAt = r.clock.Now()
 	if !r.in.TryPut(input{beat: &h, reply: reply}) {
 		return HeartbeatReply{}, failf("heartbeat", KindBusy, "too many inputs wait")
 	}
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -59,7 +59,7 @@
 		// The worker gave the earlier heartbeat up.
 		old.reply <- beatAnswer{err: failf("heartbeat", KindStale, "a later heartbeat came")}
 	}
-	r.waiters[h.Worker] = waiter{reply: reply, received: h.Received}
+	r.waiters[h.Worker] = waiter{reply: reply, received: h.ReceivedAt}
 }
 
 func (r *Runner[G, M, O, J]) takeCall(c *Call, reply chan Answer, now clock.Millis) {
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -29,7 +29,7 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, life: h.Incarnation, runs: map[jobs.Task]*run{}, until: h.Received + b.longest(), pace: pace{percent: fullPace}}
+		w = &worker{id: h.Worker, life: h.Incarnation, runs: map[jobs.Task]*run{}, until: h.ReceivedAt + b.longest(), pace: pace{percent: fullPace}}
 		b.workers[h.Worker] = w
 		b.leases.Push(dueLease{at: w.until, w: w})
 	}
@@ -38,7 +38,7 @@
 	b.listed(w, h, now)
 	b.arrived(w)
 	w.beat = &waiting{ack: ack, pressed: len(h.Ends) > 0}
-	w.until = max(w.until, h.Received+b.longest())
+	w.until = max(w.until, h.ReceivedAt+b.longest())
 	if w.expired {
 		w.expired = false
 		b.leases.Push(dueLease{at: w.until, w: w})
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -33,7 +33,7 @@
 	}
 	for i := range beats {
 		beats[i].Seq++
-		beats[i].Received = 1000
+		beats[i].ReceivedAt = 1000
 		b.Beat(beats[i], 1000)
 	}
 	for _, o := range b.Pass(1000).Orders {
@@ -62,7 +62,7 @@
 					now += 500
 				}
 				h.Seq += 1
-				h.Received = now
+				h.ReceivedAt = now
 				board.Beat(*h, now)
 				board.Pass(now)
 			}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -221,7 +221,7 @@
 				r.seq++
 				r.Beat(Beat{
 					Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
-					Seq: r.seq, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Received: r.now,
+					Seq: r.seq, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 				}, r.now)
 			}
 			if c.busy != "" {
@@ -266,7 +266,7 @@
 	r.seq++
 	r.Beat(Beat{
 		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
-		Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Received: r.now,
+		Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 	}, r.now)
 	r.Pass(r.now)
 	c := r.State.Config
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -178,7 +178,7 @@
 	w.waits = true
 	h := Beat{
 		Worker: w.id, Incarnation: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
-		Capacity: jobs.Size{MilliCores: loadCores, MemoryMiB: 1 << 20}, Received: now,
+		Capacity: jobs.Size{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
 	}
 	for id, r := range w.runs {
 		h.Running = append(h.Running, Running{Task: id, Run: r.run, Percent: 50})
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -97,7 +97,7 @@
 	r.seq++
 	r.Beat(Beat{
 		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
-		Seq: r.seq, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, Received: r.now,
+		Seq: r.seq, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
 	}, r.now)
 }
 
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -97,8 +97,8 @@
 	// worker's, which follow once earlier ones are acknowledged.
 	Running []Running
 	Ends    []End
-	// Received is the steady time at which the leader got the heartbeat.
-	Received clock.Millis
+	// ReceivedAt is the steady time at which the leader got the heartbeat.
+	ReceivedAt clock.Millis
 }
 
 // Start tells a worker to run a task.
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -461,7 +461,7 @@
 	x.sent = w.now
 	h := Beat{
 		Worker: x.id, Incarnation: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.room,
-		Draining: x.draining, Ends: slices.Clone(x.ends), Received: w.now,
+		Draining: x.draining, Ends: slices.Clone(x.ends), ReceivedAt: w.now,
 	}
 	for t, r := range x.runs {
 		percent := int(100 * (w.now - r.began) / r.takes)
