--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -266,8 +266,8 @@
 type Wave struct {
 	Number   int
 	Machines []MachineID
-	// Cap bounds the machines that are down for the wave at a time.
-	Cap int
+	// MaxDown bounds the machines that are down for the wave at a time.
+	MaxDown int
 	// Declared is the leader's time at acceptance; Deadline is later.
 	Declared clock.Millis
 	Deadline clock.Millis
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -63,7 +63,7 @@
 	}
 	w.Declared = max(now, b.State.Time)
 	w.Deadline += w.Declared
-	w.Cap = max(w.Cap, 1)
+	w.MaxDown = max(w.MaxDown, 1)
 	b.apply(jobs.Op{Kind: jobs.OpWave, Number: w.Number, Wave: &w}, now)
 	b.waves[w.Number] = newWave(b.State.Waves[w.Number])
 }
@@ -135,7 +135,7 @@
 		_, away := v.away[m]
 		switch {
 		case v.next[m] > now:
-		case away && len(v.away) > v.Cap:
+		case away && len(v.away) > v.MaxDown:
 			// An earlier leader ordered more than the cap, as some were refused.
 			// Which of them are down is not known until all must be back.
 		case away:
@@ -163,7 +163,7 @@
 	left := clock.Millis(len(v.Machines) - len(v.Begun))
 	each := b.set.DownMillis + b.set.HoldMillis
 	time := max(v.Deadline-marginMillis-now, each)
-	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.Cap)))
+	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.MaxDown)))
 }
 
 // burden orders machines for maintenance; small goes first: a machine without
@@ -268,7 +268,7 @@
 // late reports whether the rest of a wave does not fit the time left unless
 // running tasks are ended.
 func (b *Board[O, J]) late(v *wave, now clock.Millis) bool {
-	rounds := (len(v.Machines) - len(v.Begun) + v.Cap - 1) / v.Cap
+	rounds := (len(v.Machines) - len(v.Begun) + v.MaxDown - 1) / v.MaxDown
 	return now+clock.Millis(rounds)*(b.set.DownMillis+b.set.HoldMillis) > v.Deadline
 }
 
