--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -268,9 +268,9 @@
 	Machines []MachineID
 	// MaxDown bounds the machines that are down for the wave at a time.
 	MaxDown int
-	// Declared is the leader's time at acceptance; Deadline is later.
-	Declared clock.Millis
-	Deadline clock.Millis
+	// DeclaredAt is the leader's time at acceptance; Deadline is later.
+	DeclaredAt clock.Millis
+	Deadline   clock.Millis
 	// Ordered holds the machines whose maintenance may have been ordered, and
 	// Begun those of them whose order was confirmed or that are gone.
 	Ordered map[MachineID]bool
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -61,8 +61,8 @@
 	if b.State.Waves[w.Number] != nil {
 		return
 	}
-	w.Declared = max(now, b.State.Time)
-	w.Deadline += w.Declared
+	w.DeclaredAt = max(now, b.State.Time)
+	w.Deadline += w.DeclaredAt
 	w.MaxDown = max(w.MaxDown, 1)
 	b.apply(jobs.Op{Kind: jobs.OpWave, Number: w.Number, Wave: &w}, now)
 	b.waves[w.Number] = newWave(b.State.Waves[w.Number])
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -49,7 +49,7 @@
 			Pools:  []jobs.Pool{{Name: "p", Standby: true, AdmissionControl: true}},
 		}
 	case jobs.OpWave:
-		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Declared: 5, Deadline: clock.Minute}
+		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, DeclaredAt: 5, Deadline: clock.Minute}
 	}
 	return o
 }
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -55,14 +55,14 @@
 func waveToWire(w *jobs.Wave) *wirepb.JobWave {
 	return &wirepb.JobWave{
 		Number: int64(w.Number), Machines: list(w.Machines, text), Cap: int64(w.MaxDown),
-		DeclaredMs: int64(w.Declared), DeadlineMs: int64(w.Deadline),
+		DeclaredMs: int64(w.DeclaredAt), DeadlineMs: int64(w.Deadline),
 		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Begun)), text),
 	}
 }
 
 func waveFromWire(w *wirepb.JobWave) *jobs.Wave {
 	v := &jobs.Wave{
-		Number: int(w.GetNumber()), MaxDown: int(w.GetCap()), Declared: clock.Millis(w.GetDeclaredMs()),
+		Number: int(w.GetNumber()), MaxDown: int(w.GetCap()), DeclaredAt: clock.Millis(w.GetDeclaredMs()),
 		Deadline: clock.Millis(w.GetDeadlineMs()), Ordered: map[jobs.MachineID]bool{}, Begun: map[jobs.MachineID]bool{},
 	}
 	for _, m := range w.GetMachines() {
