--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -9,7 +9,7 @@
 )
 
 // Lend answers another entry process that asks for slots.
-func (d *Dispatcher[P, Q, L]) Lend(a lend.Ask) (out lend.Answer) {
+func (d *Dispatcher[P, Q, L]) Lend(a lend.LoanRequest) (out lend.Answer) {
 	d.onLoans(func(now clock.Millis) {
 		waiting := d.gate.Runnable(a.Pool)
 		d.stocks = d.router.Stocks(now, a.Pool, waiting, d.stocks[:0])
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -48,7 +48,7 @@
 	a := announcement("ia", 4)
 	a.Connections = 8
 	assert.NilError(t, d.Announce(a))
-	ask := lend.Ask{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
+	ask := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
 	assert.Equal(t, len(d.Lend(ask).Loans), 0)
 	assert.Equal(t, d.Drained(), model.Version(0))
 	nextOrder(orders, lend.OrderRecall)
@@ -65,7 +65,7 @@
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
 	assert.Equal(t, d.Drained(), model.Version(5))
-	renew := lend.Ask{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
+	renew := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
 	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
 	d.TakeBack(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
 	until(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -27,7 +27,7 @@
 // Peers carries messages to other entry processes. An error means that there
 // was no answer.
 type Peers interface {
-	Lend(ctx context.Context, to model.Member, a lend.Ask) (lend.Answer, error)
+	Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.Answer, error)
 	Return(ctx context.Context, to model.Member, r lend.Return) error
 	Recall(ctx context.Context, to model.Member, r lend.Recall) (clear bool, err error)
 }
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -20,7 +20,7 @@
 	open   int
 }
 
-func (f *fake) Lend(ctx context.Context, to model.Member, a lend.Ask) (lend.Answer, error) {
+func (f *fake) Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.Answer, error) {
 	if to.Name == "silent" {
 		close(f.silent)
 		<-ctx.Done()
@@ -89,7 +89,7 @@
 		in.TryPut(o)
 		expect(want)
 	}
-	next(lend.Order{Kind: lend.OrderAsk, To: "a", Ask: lend.Ask{Number: 4}}, "a answered")
+	next(lend.Order{Kind: lend.OrderAsk, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
 	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a returned")
 	f.open = closeTries + 1
 	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -122,9 +122,9 @@
 	return buf
 }
 
-func (l *Ledger[P]) newAsk(p model.Pool, slots int) Ask {
+func (l *Ledger[P]) newAsk(p model.Pool, slots int) LoanRequest {
 	l.number++
-	return Ask{
+	return LoanRequest{
 		Borrower: l.cfg.Self, Incarnation: l.cfg.Incarnation, Number: l.number,
 		Pool: p, Slots: slots, Hold: l.cfg.Hold,
 	}
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -37,8 +37,8 @@
 	Connections int
 }
 
-// Ask asks for new loans in a pool, for the renewal of held ones, or both.
-type Ask struct {
+// LoanRequest asks for new loans in a pool, for the renewal of held ones, or both.
+type LoanRequest struct {
 	Borrower model.Process
 	// Incarnation tells two runs of the borrower apart.
 	Incarnation uint64
@@ -92,7 +92,7 @@
 type Order struct {
 	Kind   OrderKind
 	To     model.Process
-	Ask    Ask
+	Ask    LoanRequest
 	Return Return
 	Recall Recall
 	// Close names the connections to be closed before the message is sent.
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -16,7 +16,7 @@
 )
 
 // AskToWire maps an ask for loans.
-func AskToWire(a lend.Ask) *wirepb.LendRequest {
+func AskToWire(a lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
 		Borrower: text(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: text(a.Pool),
 		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.Hold),
@@ -24,7 +24,7 @@
 }
 
 // AskFromWire maps an ask for loans; borrower and pool are required.
-func AskFromWire(w *wirepb.LendRequest) (lend.Ask, error) {
+func AskFromWire(w *wirepb.LendRequest) (lend.LoanRequest, error) {
 	const op = "ask for loans"
 	err := firstOf(
 		required(op, "borrower", w.GetBorrower(), "pool", w.GetPool()),
@@ -32,9 +32,9 @@
 		between(op, "hold", w.GetHoldMs(), 0, int64(maxLoanTime)),
 	)
 	if err != nil {
-		return lend.Ask{}, err
+		return lend.LoanRequest{}, err
 	}
-	return lend.Ask{
+	return lend.LoanRequest{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(), Number: w.GetNumber(),
 		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: list(w.GetRenew(), idFromWire),
 		Hold: clock.Millis(w.GetHoldMs()),
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -12,7 +12,7 @@
 // TestLoanRoundTrip fails when a field of a message about loans is not carried
 // over the wire, or when a loan without a slot or a connection is accepted.
 func TestLoanRoundTrip(t *testing.T) {
-	a := lend.Ask{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, Hold: 7}
+	a := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, Hold: 7}
 	a2, err := AskFromWire(AskToWire(a))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a2, a)
@@ -30,6 +30,6 @@
 		_, err = AnswerFromWire(&wirepb.LendResponse{Loans: []*wirepb.Loan{loanToWire(bad)}})
 		assert.Assert(t, err != nil, "%+v", bad)
 	}
-	_, err = AskFromWire(AskToWire(lend.Ask{Borrower: "e1", Pool: "p", Slots: -1}))
+	_, err = AskFromWire(AskToWire(lend.LoanRequest{Borrower: "e1", Pool: "p", Slots: -1}))
 	assert.Assert(t, err != nil)
 }
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -141,7 +141,7 @@
 }
 
 // Lend asks an entry process for loans of slots.
-func (c *Client) Lend(ctx context.Context, m model.Member, a lend.Ask) (lend.Answer, error) {
+func (c *Client) Lend(ctx context.Context, m model.Member, a lend.LoanRequest) (lend.Answer, error) {
 	req := codec.AskToWire(a)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Lend(ctx, req)
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -27,7 +27,7 @@
 
 // Lender is the part of an entry process that holds the ledger of loans.
 type Lender interface {
-	Lend(a lend.Ask) lend.Answer
+	Lend(a lend.LoanRequest) lend.Answer
 	TakeBack(r lend.Return)
 	Recalled(r lend.Recall) (clear bool)
 }
