--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -9,7 +9,7 @@
 )
 
 // Lend answers another entry process that asks for slots.
-func (d *Dispatcher[P, Q, L]) Lend(a lend.LoanRequest) (out lend.Answer) {
+func (d *Dispatcher[P, Q, L]) Lend(a lend.LoanRequest) (out lend.LoanResponse) {
 	d.onLoans(func(now clock.Millis) {
 		waiting := d.gate.Runnable(a.Pool)
 		d.stocks = d.router.Stocks(now, a.Pool, waiting, d.stocks[:0])
@@ -34,7 +34,7 @@
 
 // Answered takes in the answer to an order to ask, sent at asked; ok is false
 // without one.
-func (d *Dispatcher[P, Q, L]) Answered(o lend.Order, asked clock.Millis, a lend.Answer, ok bool) {
+func (d *Dispatcher[P, Q, L]) Answered(o lend.Order, asked clock.Millis, a lend.LoanResponse, ok bool) {
 	d.onLoans(func(now clock.Millis) {
 		d.loans.Answered(now, o, asked, a, ok)
 		for _, l := range a.Loans {
@@ -121,7 +121,7 @@
 func (d *Dispatcher[P, Q, L]) unsent(now clock.Millis, o lend.Order) {
 	switch o.Kind {
 	case lend.OrderAsk:
-		d.loans.Answered(now, o, now, lend.Answer{}, false)
+		d.loans.Answered(now, o, now, lend.LoanResponse{}, false)
 	case lend.OrderReturn:
 		d.loans.Returned(o, false)
 	case lend.OrderRecall:
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -27,14 +27,14 @@
 // Peers carries messages to other entry processes. An error means that there
 // was no answer.
 type Peers interface {
-	Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.Answer, error)
+	Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error)
 	Return(ctx context.Context, to model.Member, r lend.Return) error
 	Recall(ctx context.Context, to model.Member, r lend.Recall) (clear bool, err error)
 }
 
 // Book takes in how the orders ended.
 type Book interface {
-	Answered(o lend.Order, asked clock.Millis, a lend.Answer, ok bool)
+	Answered(o lend.Order, asked clock.Millis, a lend.LoanResponse, ok bool)
 	Returned(o lend.Order, ok bool)
 	Acknowledged(from model.Process)
 	// Leave ends the loans held and returns the orders that give them back.
@@ -174,7 +174,7 @@
 func (d *Lender[P, B, L]) fail(o lend.Order) {
 	switch o.Kind {
 	case lend.OrderAsk:
-		d.book.Answered(o, d.clock.Now(), lend.Answer{}, false)
+		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
 	case lend.OrderReturn:
 		d.book.Returned(o, false)
 	case lend.OrderRecall:
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -20,13 +20,13 @@
 	open   int
 }
 
-func (f *fake) Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.Answer, error) {
+func (f *fake) Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
 	if to.Name == "silent" {
 		close(f.silent)
 		<-ctx.Done()
-		return lend.Answer{}, ctx.Err()
+		return lend.LoanResponse{}, ctx.Err()
 	}
-	return lend.Answer{Incarnation: a.Number}, nil
+	return lend.LoanResponse{Incarnation: a.Number}, nil
 }
 
 func (f *fake) Return(context.Context, model.Member, lend.Return) error { return nil }
@@ -43,7 +43,7 @@
 	return f.open <= 0
 }
 
-func (f *fake) Answered(o lend.Order, asked clock.Millis, a lend.Answer, ok bool) {
+func (f *fake) Answered(o lend.Order, asked clock.Millis, a lend.LoanResponse, ok bool) {
 	switch {
 	case !ok:
 		f.told <- string(o.To) + " unanswered"
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -181,7 +181,7 @@
 // Answered takes in the answer to an ask that was sent at asked. Without an
 // answer, ok is false: the lender may have granted loans, which are then
 // returned unused.
-func (l *Ledger[P]) Answered(now clock.Millis, o Order, asked clock.Millis, a Answer, ok bool) {
+func (l *Ledger[P]) Answered(now clock.Millis, o Order, asked clock.Millis, a LoanResponse, ok bool) {
 	to, s := l.lenders[o.To], l.purse(o.Ask.Pool)
 	to.busy = false
 	if !ok {
@@ -221,7 +221,7 @@
 
 // renewed takes in what became of one renewal. An unanswered one changes
 // nothing: the loan holds until the end that is known.
-func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, a Answer, ok, void bool) {
+func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, a LoanResponse, ok, void bool) {
 	h := l.held[id]
 	if h == nil {
 		return
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -98,8 +98,8 @@
 
 // Grant answers an ask. stocks lists the upstreams of the pool that may be lent,
 // each once; find returns one upstream, false when it is not routable.
-func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []Stock, find func(model.InstanceID) (Stock, bool)) Answer {
-	out := Answer{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
+func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []Stock, find func(model.InstanceID) (Stock, bool)) LoanResponse {
+	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
 	if !l.On() || l.Quarantined(now) {
 		return out
 	}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -71,8 +71,8 @@
 	return due[0]
 }
 
-func answer(run uint64, o Order) Answer {
-	return Answer{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Ask.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
+func answer(run uint64, o Order) LoanResponse {
+	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Ask.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
 // Guards against use after the lease, which counts from the ask, and against a
@@ -87,7 +87,7 @@
 	assert.Assert(t, !ok)
 	o = plan(t, l, 600, nil)
 	assert.DeepEqual(t, o.Ask.Renew, []ID{h.ID})
-	l.Answered(620, o, 600, Answer{Incarnation: 1, Lease: 1000, Renewed: o.Ask.Renew}, true)
+	l.Answered(620, o, 600, LoanResponse{Incarnation: 1, Lease: 1000, Renewed: o.Ask.Renew}, true)
 	assert.Equal(t, l.Room(1499, "p"), 2)
 	l.Put(700, h, false, false)
 	o = plan(t, l, 1700, nil)
@@ -120,7 +120,7 @@
 	l := ledger()
 	o := plan(t, l, 100, need)
 	assert.Assert(t, l.Hope(120, "p"))
-	l.Answered(120, o, 100, Answer{Incarnation: 1, Lease: 1000}, true)
+	l.Answered(120, o, 100, LoanResponse{Incarnation: 1, Lease: 1000}, true)
 	l.Plan(150, need, nil)
 	assert.Assert(t, !l.Hope(160, "p"))
 	assert.Assert(t, l.Hope(1150, "p"))
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -51,8 +51,8 @@
 	Hold clock.Millis
 }
 
-// Answer is what the lender grants.
-type Answer struct {
+// LoanResponse is what the lender grants.
+type LoanResponse struct {
 	// Incarnation tells two runs of the lender apart.
 	Incarnation uint64
 	// Lease is how long the loans hold from the time of the ask.
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -52,7 +52,7 @@
 	number        uint64
 	order         lend.Order
 	asked         clock.Millis
-	answer        lend.Answer
+	answer        lend.LoanResponse
 	clear         bool
 	replied, lost bool
 }
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -42,7 +42,7 @@
 }
 
 // AnswerToWire maps the answer to an ask.
-func AnswerToWire(a lend.Answer) *wirepb.LendResponse {
+func AnswerToWire(a lend.LoanResponse) *wirepb.LendResponse {
 	return &wirepb.LendResponse{
 		Incarnation: a.Incarnation, LeaseMs: int64(a.Lease),
 		Loans: list(a.Loans, loanToWire), Renewed: list(a.Renewed, idToWire),
@@ -51,12 +51,12 @@
 
 // AnswerFromWire maps the answer to an ask; it is refused whole when one of its
 // loans is malformed.
-func AnswerFromWire(w *wirepb.LendResponse) (lend.Answer, error) {
+func AnswerFromWire(w *wirepb.LendResponse) (lend.LoanResponse, error) {
 	if err := between("answer about loans", "lease", w.GetLeaseMs(), 0, int64(maxLoanTime)); err != nil {
-		return lend.Answer{}, err
+		return lend.LoanResponse{}, err
 	}
 	loans, err := listFrom(w.GetLoans(), loanFromWire)
-	return lend.Answer{
+	return lend.LoanResponse{
 		Incarnation: w.GetIncarnation(), Lease: clock.Millis(w.GetLeaseMs()),
 		Loans: loans, Renewed: list(w.GetRenewed(), idFromWire),
 	}, err
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -17,7 +17,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a2, a)
 	l := lend.Loan{ID: 1, Instance: "i", Pool: "p", Address: "x", Incarnation: 2, HealthPath: "/h", Slots: 3, Connections: 4}
-	n := lend.Answer{Incarnation: 1, Lease: 2, Loans: []lend.Loan{l}, Renewed: []lend.ID{3}}
+	n := lend.LoanResponse{Incarnation: 1, Lease: 2, Loans: []lend.Loan{l}, Renewed: []lend.ID{3}}
 	n2, err := AnswerFromWire(AnswerToWire(n))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, n2, n)
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -27,7 +27,7 @@
 
 // Lender is the part of an entry process that holds the ledger of loans.
 type Lender interface {
-	Lend(a lend.LoanRequest) lend.Answer
+	Lend(a lend.LoanRequest) lend.LoanResponse
 	TakeBack(r lend.Return)
 	Recalled(r lend.Recall) (clear bool)
 }
