--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -91,7 +91,7 @@
 	// rolled is the time of the last Roll of the router.
 	rolled clock.Millis
 	needs  []lend.Need
-	orders []lend.Order
+	orders []lend.Message
 	stocks []lend.Stock
 	table  model.Table
 	// ready is false before the first table, and after a pause of this process
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -34,7 +34,7 @@
 
 // Answered takes in the answer to an order to ask, sent at asked; ok is false
 // without one.
-func (d *Dispatcher[P, Q, L]) Answered(o lend.Order, asked clock.Millis, a lend.LoanResponse, ok bool) {
+func (d *Dispatcher[P, Q, L]) Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
 	d.onLoans(func(now clock.Millis) {
 		d.loans.Answered(now, o, asked, a, ok)
 		for _, l := range a.Loans {
@@ -47,7 +47,7 @@
 }
 
 // Returned notes how an order to return loans ended.
-func (d *Dispatcher[P, Q, L]) Returned(o lend.Order, ok bool) {
+func (d *Dispatcher[P, Q, L]) Returned(o lend.Message, ok bool) {
 	d.onLoans(func(clock.Millis) { d.loans.Returned(o, ok) })
 }
 
@@ -58,7 +58,7 @@
 }
 
 // Leave ends the loans held and returns the orders that give them back.
-func (d *Dispatcher[P, Q, L]) Leave() (orders []lend.Order) {
+func (d *Dispatcher[P, Q, L]) Leave() (orders []lend.Message) {
 	d.onLoans(func(now clock.Millis) { orders = d.loans.Leave(now) })
 	return orders
 }
@@ -112,13 +112,13 @@
 		if !d.cfg.Orders.TryPut(o) {
 			d.unsent(now, o)
 		}
-		d.orders[i] = lend.Order{}
+		d.orders[i] = lend.Message{}
 	}
 	d.noteBorrowing(now)
 }
 
 // unsent ends an order that found a full ring as one without an answer.
-func (d *Dispatcher[P, Q, L]) unsent(now clock.Millis, o lend.Order) {
+func (d *Dispatcher[P, Q, L]) unsent(now clock.Millis, o lend.Message) {
 	switch o.Kind {
 	case lend.OrderAsk:
 		d.loans.Answered(now, o, now, lend.LoanResponse{}, false)
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -14,10 +14,10 @@
 )
 
 // startLending runs a dispatcher of zone z1 or z2 with one upstream in z1.
-func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Queue[lend.Order]) {
+func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Queue[lend.Message]) {
 	t.Helper()
 	all := []model.Member{{Name: "e1", Zone: "z1"}, {Name: "e2", Zone: "z2"}}
-	orders := ring.New[lend.Order](16)
+	orders := ring.New[lend.Message](16)
 	d := New(Settings{
 		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, Orders: orders,
 		Lending: lend.Settings{
@@ -33,7 +33,7 @@
 	return d, orders
 }
 
-func nextOrder(o *ring.Queue[lend.Order], kind lend.OrderKind) lend.Order {
+func nextOrder(o *ring.Queue[lend.Message], kind lend.OrderKind) lend.Message {
 	for {
 		if next := <-o.C(); next.Kind == kind {
 			return next
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -56,7 +56,7 @@
 	// Lending says how slots are lent; its zero value turns that off. Orders
 	// receives the messages to other entry processes and is needed otherwise.
 	Lending lend.Settings
-	Orders  *ring.Queue[lend.Order]
+	Orders  *ring.Queue[lend.Message]
 }
 
 // Request asks for the right to send one request to an upstream.
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -34,11 +34,11 @@
 
 // Book takes in how the orders ended.
 type Book interface {
-	Answered(o lend.Order, asked clock.Millis, a lend.LoanResponse, ok bool)
-	Returned(o lend.Order, ok bool)
+	Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool)
+	Returned(o lend.Message, ok bool)
 	Acknowledged(from model.Process)
 	// Leave ends the loans held and returns the orders that give them back.
-	Leave() []lend.Order
+	Leave() []lend.Message
 }
 
 // Links closes the connections of a loan and reports whether none is left.
@@ -48,7 +48,7 @@
 
 // Lender is the duty. Its ring is filled by the owner of the ledger.
 type Lender[P Peers, B Book, L Links] struct {
-	in    *ring.Queue[lend.Order]
+	in    *ring.Queue[lend.Message]
 	peers P
 	book  B
 	links L
@@ -60,17 +60,17 @@
 
 type peer struct {
 	member model.Member
-	in     *ring.Queue[lend.Order]
+	in     *ring.Queue[lend.Message]
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B Book, L Links](in *ring.Queue[lend.Order], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
+func New[P Peers, B Book, L Links](in *ring.Queue[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
 	d := &Lender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	for _, m := range entries {
-		d.to[m.Name] = peer{member: m, in: ring.New[lend.Order](peerRing)}
+		d.to[m.Name] = peer{member: m, in: ring.New[lend.Message](peerRing)}
 	}
 	return d
 }
@@ -134,7 +134,7 @@
 }
 
 // carry sends one order and tells the book how it ended.
-func (d *Lender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Order) {
+func (d *Lender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Message) {
 	if !d.closed(o.Close) {
 		d.fail(o)
 		return
@@ -171,7 +171,7 @@
 }
 
 // fail ends an order that was not sent as one without an answer.
-func (d *Lender[P, B, L]) fail(o lend.Order) {
+func (d *Lender[P, B, L]) fail(o lend.Message) {
 	switch o.Kind {
 	case lend.OrderAsk:
 		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -43,7 +43,7 @@
 	return f.open <= 0
 }
 
-func (f *fake) Answered(o lend.Order, asked clock.Millis, a lend.LoanResponse, ok bool) {
+func (f *fake) Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
 	switch {
 	case !ok:
 		f.told <- string(o.To) + " unanswered"
@@ -52,7 +52,7 @@
 	}
 }
 
-func (f *fake) Returned(o lend.Order, ok bool) {
+func (f *fake) Returned(o lend.Message, ok bool) {
 	if ok && f.open <= 0 {
 		f.told <- string(o.To) + " returned"
 	} else if !ok {
@@ -60,8 +60,8 @@
 	}
 }
 
-func (f *fake) Leave() []lend.Order {
-	return []lend.Order{{Kind: lend.OrderReturn, To: "a"}}
+func (f *fake) Leave() []lend.Message {
+	return []lend.Message{{Kind: lend.OrderReturn, To: "a"}}
 }
 
 func (f *fake) Acknowledged(from model.Process) { f.told <- string(from) + " acknowledged" }
@@ -70,12 +70,12 @@
 // before the connections are closed, against orders whose end is not told, and
 // against loans that a stopped process leaves to their time.
 func TestOrders(t *testing.T) {
-	in := ring.New[lend.Order](8)
+	in := ring.New[lend.Message](8)
 	f := &fake{told: make(chan string, 8), silent: make(chan struct{}), open: 3}
 	d := New(in, []model.Member{{Name: "silent"}, {Name: "a"}, {Name: "gone"}}, f, f, f, clock.Real())
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
-	in.TryPut(lend.Order{Kind: lend.OrderAsk, To: "silent"})
+	in.TryPut(lend.Message{Kind: lend.OrderAsk, To: "silent"})
 	<-f.silent
 	expect := func(want string) {
 		t.Helper()
@@ -84,18 +84,18 @@
 			assert.Assert(t, got == want || got == "silent unanswered", "%s", got)
 		}
 	}
-	next := func(o lend.Order, want string) {
+	next := func(o lend.Message, want string) {
 		t.Helper()
 		in.TryPut(o)
 		expect(want)
 	}
-	next(lend.Order{Kind: lend.OrderAsk, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
-	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a returned")
+	next(lend.Message{Kind: lend.OrderAsk, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
+	next(lend.Message{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a returned")
 	f.open = closeTries + 1
-	next(lend.Order{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
-	next(lend.Order{Kind: lend.OrderAsk, To: "unknown"}, "unknown unanswered")
-	in.TryPut(lend.Order{Kind: lend.OrderRecall, To: "gone"})
-	next(lend.Order{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
+	next(lend.Message{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
+	next(lend.Message{Kind: lend.OrderAsk, To: "unknown"}, "unknown unanswered")
+	in.TryPut(lend.Message{Kind: lend.OrderRecall, To: "gone"})
+	next(lend.Message{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
 	f.open = 0
 	d.Stop()
 	<-ended
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -181,7 +181,7 @@
 // Answered takes in the answer to an ask that was sent at asked. Without an
 // answer, ok is false: the lender may have granted loans, which are then
 // returned unused.
-func (l *Ledger[P]) Answered(now clock.Millis, o Order, asked clock.Millis, a LoanResponse, ok bool) {
+func (l *Ledger[P]) Answered(now clock.Millis, o Message, asked clock.Millis, a LoanResponse, ok bool) {
 	to, s := l.lenders[o.To], l.purse(o.Ask.Pool)
 	to.busy = false
 	if !ok {
@@ -259,7 +259,7 @@
 
 // Returned notes that the lender has taken loans back; ok is false without an
 // answer.
-func (l *Ledger[P]) Returned(o Order, ok bool) {
+func (l *Ledger[P]) Returned(o Message, ok bool) {
 	l.lenders[o.To].busy = false
 	for _, id := range o.Return.IDs {
 		if h := l.held[id]; h != nil && ok {
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -59,9 +59,9 @@
 var need = []Need{{Pool: "p", Zones: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
 
 // plan returns the one order other than recalls.
-func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []Need) Order {
+func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []Need) Message {
 	t.Helper()
-	var due []Order
+	var due []Message
 	for _, o := range l.Plan(now, needs, nil) {
 		if o.Kind != OrderRecall {
 			due = append(due, o)
@@ -71,7 +71,7 @@
 	return due[0]
 }
 
-func answer(run uint64, o Order) LoanResponse {
+func answer(run uint64, o Message) LoanResponse {
 	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Ask.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -10,7 +10,7 @@
 // Plan appends the messages that are due: asks for the pools in need, each once,
 // renewals, returns and recalls. At most one ask or return is under way to a
 // process.
-func (l *Ledger[P]) Plan(now clock.Millis, needs []Need, buf []Order) []Order {
+func (l *Ledger[P]) Plan(now clock.Millis, needs []Need, buf []Message) []Message {
 	if !l.On() {
 		return buf
 	}
@@ -29,7 +29,7 @@
 	return buf
 }
 
-func (l *Ledger[P]) recalls(now clock.Millis, buf []Order) []Order {
+func (l *Ledger[P]) recalls(now clock.Millis, buf []Message) []Message {
 	if !l.Quarantined(now) {
 		return buf
 	}
@@ -38,7 +38,7 @@
 			continue
 		}
 		l.unheard[p] = now + retryAfter
-		buf = append(buf, Order{
+		buf = append(buf, Message{
 			Kind: OrderRecall, To: p, Recall: Recall{Lender: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 		})
 	}
@@ -60,7 +60,7 @@
 
 // Leave ends all loans held and returns the orders that give back those without
 // a request.
-func (l *Ledger[P]) Leave(now clock.Millis) []Order {
+func (l *Ledger[P]) Leave(now clock.Millis) []Message {
 	for _, to := range l.lenders {
 		to.busy, to.again = false, 0
 	}
@@ -70,7 +70,7 @@
 	return l.returns(now, nil)
 }
 
-func (l *Ledger[P]) returns(now clock.Millis, buf []Order) []Order {
+func (l *Ledger[P]) returns(now clock.Millis, buf []Message) []Message {
 	at := map[model.Process]int{}
 	for _, h := range l.held {
 		if !h.ended || h.Running > 0 || h.asked || now < h.next {
@@ -85,7 +85,7 @@
 			to.busy = true
 			i = len(buf)
 			at[h.Lender] = i
-			buf = append(buf, Order{
+			buf = append(buf, Message{
 				Kind: OrderReturn, To: h.Lender,
 				Return: Return{Borrower: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 			})
@@ -99,7 +99,7 @@
 	return buf
 }
 
-func (l *Ledger[P]) renewals(now clock.Millis, buf []Order) []Order {
+func (l *Ledger[P]) renewals(now clock.Millis, buf []Message) []Message {
 	at := map[model.Process]int{}
 	for _, h := range l.held {
 		if h.ended || h.asked || h.Until-now > l.cfg.Lease/2 {
@@ -114,7 +114,7 @@
 			to.busy = true
 			i = len(buf)
 			at[h.Lender] = i
-			buf = append(buf, Order{Kind: OrderAsk, To: h.Lender, Ask: l.newAsk(h.Pool, 0)})
+			buf = append(buf, Message{Kind: OrderAsk, To: h.Lender, Ask: l.newAsk(h.Pool, 0)})
 		}
 		h.asked = true
 		buf[i].Ask.Renew = append(buf[i].Ask.Renew, h.ID)
@@ -131,7 +131,7 @@
 }
 
 // ask asks one lender for what the pool needs beyond the asks under way.
-func (l *Ledger[P]) ask(now clock.Millis, n Need, buf []Order) []Order {
+func (l *Ledger[P]) ask(now clock.Millis, n Need, buf []Message) []Message {
 	s := l.purse(n.Pool)
 	if s.since == 0 {
 		s.since = now
@@ -152,7 +152,7 @@
 	want = min(want, maxSlots)
 	s.pending += want
 	l.Counts.Asked++
-	return append(buf, Order{Kind: OrderAsk, To: to.member.Name, Ask: l.newAsk(n.Pool, want)})
+	return append(buf, Message{Kind: OrderAsk, To: to.member.Name, Ask: l.newAsk(n.Pool, want)})
 }
 
 // choose returns the process to ask: one of the own zone if any, and among
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -87,9 +87,9 @@
 	OrderRecall
 )
 
-// Order is a message that the ledger wants to be sent. Its result is told by
+// Message is a message that the ledger wants to be sent. Its result is told by
 // Answered, Returned or Acknowledged.
-type Order struct {
+type Message struct {
 	Kind   OrderKind
 	To     model.Process
 	Ask    LoanRequest
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -50,7 +50,7 @@
 type message struct {
 	from, to      *proc
 	number        uint64
-	order         lend.Order
+	order         lend.Message
 	asked         clock.Millis
 	answer        lend.LoanResponse
 	clear         bool
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -85,7 +85,7 @@
 	g.gate = entry.New(entry.Settings{
 		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
 		Lending: lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, Hold: clock.Minute, ReservePercent: 25},
-		Orders:  ring.New[lend.Order](16),
+		Orders:  ring.New[lend.Message](16),
 	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
 	g.link = uplink.New(uplink.Defaults(), clk)
 	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -95,7 +95,7 @@
 	e.client = peers.NewClient(cfg.Name, e.recorder)
 	leader := peers.NewLeader(e.client, cfg.Controls, clk)
 	incarnation := uint64(clk.Now())
-	orders := ring.New[lend.Order](orderRing)
+	orders := ring.New[lend.Message](orderRing)
 	e.dispatch = entry.New(entry.Settings{
 		Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries,
 		Ring: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events, Orders: orders,
