--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -33,7 +33,7 @@
 	return d, orders
 }
 
-func nextOrder(o *ring.Queue[lend.Message], kind lend.OrderKind) lend.Message {
+func nextOrder(o *ring.Queue[lend.Message], kind lend.MessageKind) lend.Message {
 	for {
 		if next := <-o.C(); next.Kind == kind {
 			return next
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -77,12 +77,12 @@
 	Incarnation uint64
 }
 
-// OrderKind tells the orders apart.
-type OrderKind int
+// MessageKind tells the orders apart.
+type MessageKind int
 
 // The kinds of order.
 const (
-	OrderAsk OrderKind = iota
+	OrderAsk MessageKind = iota
 	OrderReturn
 	OrderRecall
 )
@@ -90,7 +90,7 @@
 // Message is a message that the ledger wants to be sent. Its result is told by
 // Answered, Returned or Acknowledged.
 type Message struct {
-	Kind   OrderKind
+	Kind   MessageKind
 	To     model.Process
 	Ask    LoanRequest
 	Return Return
