--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -117,7 +117,7 @@
 		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back", c.Covers)
 		return scopeShelf, true
 	}
-	width := b.pacer.Width(PacerInput{PressurePermille: a.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: b.needed(it, a, now)})
+	width := b.pacer.MaxConcurrent(PacerInput{PressurePermille: a.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: b.needed(it, a, now)})
 	if a.by[causeMaintenance] >= width {
 		wait.Limit, wait.Have, wait.Max = LimitPressure, int64(a.by[causeMaintenance]), int64(width)
 		wait.Until = now + b.set.RetryMillis
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -13,15 +13,15 @@
 // Pacer is the policy that says how many of a customer's instances may be in
 // maintenance at once, given what its callers feel.
 type Pacer interface {
-	Width(PacerInput) int
+	MaxConcurrent(PacerInput) int
 }
 
 // FullSpeed is the baseline: as many as the contract allows, whatever callers
 // feel.
 type FullSpeed struct{}
 
-// Width returns the contract's bound.
-func (FullSpeed) Width(f PacerInput) int { return f.MaxUnavailable }
+// MaxConcurrent returns the contract's bound.
+func (FullSpeed) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
 
 // Proportional slows down in proportion to the pressure and halts at Halt.
 type Proportional struct {
@@ -30,8 +30,8 @@
 	Halt int
 }
 
-// Width is at least 1 below Halt, so that a wave under light pressure goes on.
-func (p Proportional) Width(f PacerInput) int {
+// MaxConcurrent is at least 1 below Halt, so that a wave under light pressure goes on.
+func (p Proportional) MaxConcurrent(f PacerInput) int {
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
@@ -47,10 +47,10 @@
 	Halt int
 }
 
-// Width returns the larger of both, within the contract's bound.
-func (p Deadline) Width(f PacerInput) int {
+// MaxConcurrent returns the larger of both, within the contract's bound.
+func (p Deadline) MaxConcurrent(f PacerInput) int {
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(f.NeededForDeadline, Proportional{Halt: p.Slow}.Width(f)))
+	return min(f.MaxUnavailable, max(f.NeededForDeadline, Proportional{Halt: p.Slow}.MaxConcurrent(f)))
 }
