--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -23,15 +23,15 @@
 // MaxConcurrent returns the contract's bound.
 func (FullSpeed) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
 
-// Proportional slows down in proportion to the pressure and halts at Halt.
-type Proportional struct {
+// ProportionalPacer slows down in proportion to the pressure and halts at Halt.
+type ProportionalPacer struct {
 	// Halt is the pressure in permille at which nothing more starts; at
 	// least 1.
 	Halt int
 }
 
 // MaxConcurrent is at least 1 below Halt, so that a wave under light pressure goes on.
-func (p Proportional) MaxConcurrent(f PacerInput) int {
+func (p ProportionalPacer) MaxConcurrent(f PacerInput) int {
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
@@ -52,5 +52,5 @@
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(f.NeededForDeadline, Proportional{Halt: p.Slow}.MaxConcurrent(f)))
+	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{Halt: p.Slow}.MaxConcurrent(f)))
 }
