--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -16,7 +16,7 @@
 	c.Waves = make(map[int]*Wave, len(s.Waves))
 	for n, w := range s.Waves {
 		x := *w
-		x.Ordered, x.Begun = maps.Clone(w.Ordered), maps.Clone(w.Begun)
+		x.Ordered, x.Started = maps.Clone(w.Ordered), maps.Clone(w.Started)
 		c.Waves[n] = &x
 	}
 	return &c
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -62,7 +62,7 @@
 		}
 	case OpBegun:
 		if w := s.Waves[o.Number]; w != nil {
-			w.Begun[o.Machine] = true
+			w.Started[o.Machine] = true
 		}
 	}
 }
@@ -298,7 +298,7 @@
 		return
 	}
 	n := *w
-	n.Ordered, n.Begun = map[MachineID]bool{}, map[MachineID]bool{}
+	n.Ordered, n.Started = map[MachineID]bool{}, map[MachineID]bool{}
 	s.Waves[w.Number] = &n
 }
 
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -90,7 +90,7 @@
 		c.Apply([]Op{assigned(task, 1), ended(task, 1, HowDone), {Kind: OpBegun, Number: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
 		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
 		assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
-		assert.Equal(t, len(s.Waves[1].Begun), 0)
+		assert.Equal(t, len(s.Waves[1].Started), 0)
 		assert.Equal(t, len(s.Ended), 0)
 	})
 }
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -274,11 +274,11 @@
 	// Ordered holds the machines whose maintenance may have been ordered, and
 	// Begun those of them whose order was confirmed or that are gone.
 	Ordered map[MachineID]bool
-	Begun   map[MachineID]bool
+	Started map[MachineID]bool
 }
 
 // Completed reports whether the maintenance of every machine has begun.
-func (w *Wave) Completed() bool { return len(w.Begun) >= len(w.Machines) }
+func (w *Wave) Completed() bool { return len(w.Started) >= len(w.Machines) }
 
 // How says how a run ended.
 type How uint8
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -121,7 +121,7 @@
 func (b *Board[O, J]) advance(v *wave, now clock.Millis) {
 	var left []jobs.MachineID
 	for _, m := range v.Machines {
-		if !v.Begun[m] && !v.flying[m] {
+		if !v.Started[m] && !v.flying[m] {
 			left = append(left, m)
 		}
 	}
@@ -160,7 +160,7 @@
 // pace is the number of machines that have to be down at a time for the wave
 // to end in time.
 func (b *Board[O, J]) pace(v *wave, now clock.Millis) int {
-	left := clock.Millis(len(v.Machines) - len(v.Begun))
+	left := clock.Millis(len(v.Machines) - len(v.Started))
 	each := b.set.DownMillis + b.set.HoldMillis
 	time := max(v.Deadline-marginMillis-now, each)
 	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.MaxDown)))
@@ -268,7 +268,7 @@
 // late reports whether the rest of a wave does not fit the time left unless
 // running tasks are ended.
 func (b *Board[O, J]) late(v *wave, now clock.Millis) bool {
-	rounds := (len(v.Machines) - len(v.Begun) + v.MaxDown - 1) / v.MaxDown
+	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
 	return now+clock.Millis(rounds)*(b.set.DownMillis+b.set.HoldMillis) > v.Deadline
 }
 
@@ -396,7 +396,7 @@
 		v := b.waves[n]
 		clear(v.refused)
 		for _, m := range v.Machines {
-			if v.Begun[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
+			if v.Started[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
 				continue
 			}
 			b.apply(jobs.Op{Kind: jobs.OpBegun, Number: v.Number, Machine: m}, now)
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -56,14 +56,14 @@
 	return &wirepb.JobWave{
 		Number: int64(w.Number), Machines: list(w.Machines, text), Cap: int64(w.MaxDown),
 		DeclaredMs: int64(w.DeclaredAt), DeadlineMs: int64(w.Deadline),
-		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Begun)), text),
+		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Started)), text),
 	}
 }
 
 func waveFromWire(w *wirepb.JobWave) *jobs.Wave {
 	v := &jobs.Wave{
 		Number: int(w.GetNumber()), MaxDown: int(w.GetCap()), DeclaredAt: clock.Millis(w.GetDeclaredMs()),
-		Deadline: clock.Millis(w.GetDeadlineMs()), Ordered: map[jobs.MachineID]bool{}, Begun: map[jobs.MachineID]bool{},
+		Deadline: clock.Millis(w.GetDeadlineMs()), Ordered: map[jobs.MachineID]bool{}, Started: map[jobs.MachineID]bool{},
 	}
 	for _, m := range w.GetMachines() {
 		v.Machines = append(v.Machines, jobs.MachineID(m))
@@ -72,7 +72,7 @@
 		v.Ordered[jobs.MachineID(m)] = true
 	}
 	for _, m := range w.GetBegun() {
-		v.Begun[jobs.MachineID(m)] = true
+		v.Started[jobs.MachineID(m)] = true
 	}
 	return v
 }
