--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -8,7 +8,7 @@
 // Clone returns a copy that shares nothing that operations change.
 func (s *State) Clone() *State {
 	c := *s
-	c.Ended = slices.Clone(s.Ended)
+	c.EndedJobs = slices.Clone(s.EndedJobs)
 	c.Jobs = make(map[ID]*Record, len(s.Jobs))
 	for id, r := range s.Jobs {
 		c.Jobs[id] = r.clone()
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -20,8 +20,8 @@
 	// Seq is the number of the latest accepted job; it only grows.
 	Seq   uint64
 	Waves map[int]*Wave
-	// Ended lists the jobs with a final status in the order of their ends.
-	Ended []ID
+	// EndedJobs lists the jobs with a final status in the order of their ends.
+	EndedJobs []ID
 }
 
 // New returns the empty state.
@@ -132,18 +132,18 @@
 	r.Status, r.EndedAt = to, s.Time
 	// Nothing of an ended job is started any more.
 	r.Spec = ""
-	s.Ended = append(s.Ended, r.ID)
+	s.EndedJobs = append(s.EndedJobs, r.ID)
 }
 
 // forget drops jobs that ended longer ago than Retention.
 func (s *State) forget() {
-	for len(s.Ended) > 0 {
-		r := s.Jobs[s.Ended[0]]
+	for len(s.EndedJobs) > 0 {
+		r := s.Jobs[s.EndedJobs[0]]
 		if r != nil && s.Time-r.EndedAt < Retention {
 			return
 		}
-		delete(s.Jobs, s.Ended[0])
-		s.Ended = s.Ended[1:]
+		delete(s.Jobs, s.EndedJobs[0])
+		s.EndedJobs = s.EndedJobs[1:]
 	}
 }
 
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -91,7 +91,7 @@
 		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
 		assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 		assert.Equal(t, len(s.Waves[1].Started), 0)
-		assert.Equal(t, len(s.Ended), 0)
+		assert.Equal(t, len(s.EndedJobs), 0)
 	})
 }
 
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -80,7 +80,7 @@
 // JobsToWire maps the submitted work, in the order of names.
 func JobsToWire(s *jobs.State) *wirepb.JobsSnapshot {
 	w := &wirepb.JobsSnapshot{
-		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: list(s.Ended, text),
+		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: list(s.EndedJobs, text),
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		w.Records = append(w.Records, recordToWire(s.Jobs[id]))
@@ -120,7 +120,7 @@
 	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
 	s.Config = jobConfigFromWire(w.GetConfig())
 	for _, id := range w.GetEnded() {
-		s.Ended = append(s.Ended, jobs.ID(id))
+		s.EndedJobs = append(s.EndedJobs, jobs.ID(id))
 	}
 	for _, wr := range w.GetRecords() {
 		r, err := recordFromWire(wr)
