--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -230,7 +230,7 @@
 	if r.Steps[o.Task.Step].Gang {
 		t.Failures = r.stepOf(o.Task).fails()
 	}
-	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, o.Run, o.Worker, o.Life
+	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, o.Run, o.Worker, o.Incarnation
 	r.EverAssigned = true
 	if r.Status == StatusQueued {
 		r.Status = StatusRunning
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -14,7 +14,7 @@
 }
 
 func assigned(t Task, run int) Op {
-	return Op{Kind: OpAssign, Task: t, Run: run, Worker: "w", Life: 1}
+	return Op{Kind: OpAssign, Task: t, Run: run, Worker: "w", Incarnation: 1}
 }
 
 func ended(t Task, run int, how How) Op {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -333,15 +333,15 @@
 
 // Op is one operation. The fields that belong to Kind are set.
 type Op struct {
-	Kind    OpKind
-	Task    Task
-	Run     int
-	Worker  WorkerID
-	Life    Life
-	How     How
-	Saved   string
-	Number  int
-	Machine MachineID
+	Kind        OpKind
+	Task        Task
+	Run         int
+	Worker      WorkerID
+	Incarnation Life
+	How         How
+	Saved       string
+	Number      int
+	Machine     MachineID
 	// Job, Config and Wave are nil unless Kind calls for them; they are not
 	// changed after the operation was made.
 	Job    *Job
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -110,7 +110,7 @@
 func (b *Board[O, J]) start(w *worker, g *group, t jobs.Task, now clock.Millis) {
 	state := g.rec.Task(t)
 	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, started: now, moved: now, saved: state.Checkpoint}
-	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Life: w.life}, now)
+	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Incarnation: w.life}, now)
 	b.attach(w, r)
 	w.beat.starts = append(w.beat.starts, b.startOf(w, r))
 	b.answerBy(w, now)
