--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -357,9 +357,9 @@
 	switch {
 	case o.Kind == jobs.OpAssign:
 		r.n.Starts++
-	case o.Kind == jobs.OpEnd && o.How == jobs.HowLost:
+	case o.Kind == jobs.OpEnd && o.Result == jobs.HowLost:
 		r.n.Lost++
-	case o.Kind == jobs.OpEnd && o.How == jobs.HowFailed:
+	case o.Kind == jobs.OpEnd && o.Result == jobs.HowFailed:
 		r.n.Failed++
 	}
 }
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -255,9 +255,9 @@
 		}
 	}
 	switch {
-	case o.How == HowDone && !step.LongRunning:
+	case o.Result == HowDone && !step.LongRunning:
 		s.done(r, o.Task)
-	case o.How == HowFailed && !step.LongRunning:
+	case o.Result == HowFailed && !step.LongRunning:
 		t.Failures++
 		if t.Failures >= max(r.MaxAttempts, 1) && !r.Status.Final() {
 			s.finish(r, StatusFailed)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -338,7 +338,7 @@
 	Run         int
 	Worker      WorkerID
 	Incarnation Life
-	How         How
+	Result      How
 	Saved       string
 	Number      int
 	Machine     MachineID
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -274,12 +274,12 @@
 	}
 	failed := failedRun{of[0], o.Run}
 	for _, t := range of {
-		w.done[t] = w.done[t] || o.How == jobs.HowDone
-		if o.How == jobs.HowFailed && !w.failed[failed] {
+		w.done[t] = w.done[t] || o.Result == jobs.HowDone
+		if o.Result == jobs.HowFailed && !w.failed[failed] {
 			w.fails[t]++
 		}
 	}
-	w.failed[failed] = w.failed[failed] || o.How == jobs.HowFailed
+	w.failed[failed] = w.failed[failed] || o.Result == jobs.HowFailed
 }
 
 // deliver hands answers to workers; those that come after a second are
