--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -248,10 +248,10 @@
 	}
 	t.Phase, t.Worker, t.Incarnation = PhaseWaiting, "", 0
 	step := &r.Steps[o.Task.Step]
-	if o.Saved != "" {
-		t.Checkpoint = o.Saved
+	if o.Checkpoint != "" {
+		t.Checkpoint = o.Checkpoint
 		if step.Gang {
-			r.stepOf(o.Task).save(o.Saved)
+			r.stepOf(o.Task).save(o.Checkpoint)
 		}
 	}
 	switch {
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -18,7 +18,7 @@
 }
 
 func ended(t Task, run int, how How) Op {
-	return Op{Kind: OpEnd, Task: t, Run: run, Result: how, Saved: "c"}
+	return Op{Kind: OpEnd, Task: t, Run: run, Result: how, Checkpoint: "c"}
 }
 
 // TestStatus is the table of how operations change a job's status.
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -339,7 +339,7 @@
 	Worker      WorkerID
 	Incarnation Life
 	Result      How
-	Saved       string
+	Checkpoint  string
 	Number      int
 	Machine     MachineID
 	// Job, Config and Wave are nil unless Kind calls for them; they are not
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -119,7 +119,7 @@
 	rec := r.rec
 	before := rec.Status
 	current := r.current()
-	b.apply(jobs.Op{Kind: jobs.OpEnd, Task: r.task, Run: r.number, Worker: w.id, Result: how, Saved: saved}, now)
+	b.apply(jobs.Op{Kind: jobs.OpEnd, Task: r.task, Run: r.number, Worker: w.id, Result: how, Checkpoint: saved}, now)
 	if how != jobs.HowDone {
 		reason := how.String()
 		if r.why != "" {
