--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -120,7 +120,7 @@
 // unsent ends an order that found a full ring as one without an answer.
 func (d *Dispatcher[P, Q, L]) unsent(now clock.Millis, o lend.Message) {
 	switch o.Kind {
-	case lend.OrderAsk:
+	case lend.MessageRequest:
 		d.loans.Answered(now, o, now, lend.LoanResponse{}, false)
 	case lend.OrderReturn:
 		d.loans.Returned(o, false)
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -77,7 +77,7 @@
 	d, orders := startLending(t, "e2", "z2")
 	got := make(chan Grant, 1)
 	go func() { got <- must(t, d) }()
-	o := nextOrder(orders, lend.OrderAsk)
+	o := nextOrder(orders, lend.MessageRequest)
 	assert.Equal(t, o.To, model.Process("e1"))
 	d.Answered(o, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
 		{ID: lend.ID(o.Ask.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -145,7 +145,7 @@
 	// it ends at the lender, whatever the message took.
 	asked := d.clock.Now()
 	switch o.Kind {
-	case lend.OrderAsk:
+	case lend.MessageRequest:
 		a, err := d.peers.Lend(ctx, to, o.Ask)
 		d.book.Answered(o, asked, a, err == nil)
 	case lend.OrderReturn:
@@ -173,7 +173,7 @@
 // fail ends an order that was not sent as one without an answer.
 func (d *Lender[P, B, L]) fail(o lend.Message) {
 	switch o.Kind {
-	case lend.OrderAsk:
+	case lend.MessageRequest:
 		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
 	case lend.OrderReturn:
 		d.book.Returned(o, false)
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -75,7 +75,7 @@
 	d := New(in, []model.Member{{Name: "silent"}, {Name: "a"}, {Name: "gone"}}, f, f, f, clock.Real())
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
-	in.TryPut(lend.Message{Kind: lend.OrderAsk, To: "silent"})
+	in.TryPut(lend.Message{Kind: lend.MessageRequest, To: "silent"})
 	<-f.silent
 	expect := func(want string) {
 		t.Helper()
@@ -89,11 +89,11 @@
 		in.TryPut(o)
 		expect(want)
 	}
-	next(lend.Message{Kind: lend.OrderAsk, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
+	next(lend.Message{Kind: lend.MessageRequest, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
 	next(lend.Message{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a returned")
 	f.open = closeTries + 1
 	next(lend.Message{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
-	next(lend.Message{Kind: lend.OrderAsk, To: "unknown"}, "unknown unanswered")
+	next(lend.Message{Kind: lend.MessageRequest, To: "unknown"}, "unknown unanswered")
 	in.TryPut(lend.Message{Kind: lend.OrderRecall, To: "gone"})
 	next(lend.Message{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
 	f.open = 0
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -114,7 +114,7 @@
 			to.busy = true
 			i = len(buf)
 			at[h.Lender] = i
-			buf = append(buf, Message{Kind: OrderAsk, To: h.Lender, Ask: l.newAsk(h.Pool, 0)})
+			buf = append(buf, Message{Kind: MessageRequest, To: h.Lender, Ask: l.newAsk(h.Pool, 0)})
 		}
 		h.asked = true
 		buf[i].Ask.Renew = append(buf[i].Ask.Renew, h.ID)
@@ -152,7 +152,7 @@
 	want = min(want, maxSlots)
 	s.pending += want
 	l.Counts.Asked++
-	return append(buf, Message{Kind: OrderAsk, To: to.member.Name, Ask: l.newAsk(n.Pool, want)})
+	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Ask: l.newAsk(n.Pool, want)})
 }
 
 // choose returns the process to ask: one of the own zone if any, and among
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -82,7 +82,7 @@
 
 // The kinds of order.
 const (
-	OrderAsk MessageKind = iota
+	MessageRequest MessageKind = iota
 	OrderReturn
 	OrderRecall
 )
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -242,7 +242,7 @@
 func (w *world) arrive(m *message) {
 	now := w.at(m.to)
 	switch m.order.Kind {
-	case lend.OrderAsk:
+	case lend.MessageRequest:
 		m.answer = m.to.ledger.Grant(now, m.order.Ask, m.to.router.Stocks(now, "p", 0, nil), func(id model.InstanceID) (lend.Stock, bool) {
 			return m.to.router.Stock(id, func(model.Pool) int { return 0 })
 		})
@@ -261,7 +261,7 @@
 	}
 	l := m.from.ledger
 	switch m.order.Kind {
-	case lend.OrderAsk:
+	case lend.MessageRequest:
 		l.Answered(w.at(m.from), m.order, m.asked, m.answer, ok)
 		for _, i := range w.table {
 			if i.Version <= m.from.version {
