--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -122,7 +122,7 @@
 	switch o.Kind {
 	case lend.MessageRequest:
 		d.loans.Answered(now, o, now, lend.LoanResponse{}, false)
-	case lend.OrderReturn:
+	case lend.MessageReturn:
 		d.loans.Returned(o, false)
 	case lend.OrderRecall:
 	}
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -148,7 +148,7 @@
 	case lend.MessageRequest:
 		a, err := d.peers.Lend(ctx, to, o.Ask)
 		d.book.Answered(o, asked, a, err == nil)
-	case lend.OrderReturn:
+	case lend.MessageReturn:
 		d.book.Returned(o, d.peers.Return(ctx, to, o.Return) == nil)
 	case lend.OrderRecall:
 		if clear, err := d.peers.Recall(ctx, to, o.Recall); err == nil && clear {
@@ -175,7 +175,7 @@
 	switch o.Kind {
 	case lend.MessageRequest:
 		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
-	case lend.OrderReturn:
+	case lend.MessageReturn:
 		d.book.Returned(o, false)
 	case lend.OrderRecall:
 	}
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -61,7 +61,7 @@
 }
 
 func (f *fake) Leave() []lend.Message {
-	return []lend.Message{{Kind: lend.OrderReturn, To: "a"}}
+	return []lend.Message{{Kind: lend.MessageReturn, To: "a"}}
 }
 
 func (f *fake) Acknowledged(from model.Process) { f.told <- string(from) + " acknowledged" }
@@ -90,9 +90,9 @@
 		expect(want)
 	}
 	next(lend.Message{Kind: lend.MessageRequest, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
-	next(lend.Message{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a returned")
+	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a returned")
 	f.open = closeTries + 1
-	next(lend.Message{Kind: lend.OrderReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
+	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
 	next(lend.Message{Kind: lend.MessageRequest, To: "unknown"}, "unknown unanswered")
 	in.TryPut(lend.Message{Kind: lend.OrderRecall, To: "gone"})
 	next(lend.Message{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -86,7 +86,7 @@
 			i = len(buf)
 			at[h.Lender] = i
 			buf = append(buf, Message{
-				Kind: OrderReturn, To: h.Lender,
+				Kind: MessageReturn, To: h.Lender,
 				Return: Return{Borrower: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 			})
 		}
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -83,7 +83,7 @@
 // The kinds of order.
 const (
 	MessageRequest MessageKind = iota
-	OrderReturn
+	MessageReturn
 	OrderRecall
 )
 
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -246,7 +246,7 @@
 		m.answer = m.to.ledger.Grant(now, m.order.Ask, m.to.router.Stocks(now, "p", 0, nil), func(id model.InstanceID) (lend.Stock, bool) {
 			return m.to.router.Stock(id, func(model.Pool) int { return 0 })
 		})
-	case lend.OrderReturn:
+	case lend.MessageReturn:
 		m.to.ledger.TakeBack(m.order.Return)
 	case lend.OrderRecall:
 		m.clear = m.to.ledger.Recalled(m.order.Recall)
@@ -268,7 +268,7 @@
 				l.EndInstance(i)
 			}
 		}
-	case lend.OrderReturn:
+	case lend.MessageReturn:
 		l.Returned(m.order, ok)
 	case lend.OrderRecall:
 		if ok && m.clear {
