--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -124,7 +124,7 @@
 		d.loans.Answered(now, o, now, lend.LoanResponse{}, false)
 	case lend.MessageReturn:
 		d.loans.Returned(o, false)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 	}
 }
 
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -51,7 +51,7 @@
 	ask := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
 	assert.Equal(t, len(d.Lend(ask).Loans), 0)
 	assert.Equal(t, d.Drained(), model.Version(0))
-	nextOrder(orders, lend.OrderRecall)
+	nextOrder(orders, lend.MessageRecall)
 	d.Acknowledged("e2")
 	assert.Equal(t, d.Drained(), model.Version(5))
 	g := must(t, d)
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -150,7 +150,7 @@
 		d.book.Answered(o, asked, a, err == nil)
 	case lend.MessageReturn:
 		d.book.Returned(o, d.peers.Return(ctx, to, o.Return) == nil)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 		if clear, err := d.peers.Recall(ctx, to, o.Recall); err == nil && clear {
 			d.book.Acknowledged(o.To)
 		}
@@ -177,6 +177,6 @@
 		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
 	case lend.MessageReturn:
 		d.book.Returned(o, false)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 	}
 }
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -94,8 +94,8 @@
 	f.open = closeTries + 1
 	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
 	next(lend.Message{Kind: lend.MessageRequest, To: "unknown"}, "unknown unanswered")
-	in.TryPut(lend.Message{Kind: lend.OrderRecall, To: "gone"})
-	next(lend.Message{Kind: lend.OrderRecall, To: "a"}, "a acknowledged")
+	in.TryPut(lend.Message{Kind: lend.MessageRecall, To: "gone"})
+	next(lend.Message{Kind: lend.MessageRecall, To: "a"}, "a acknowledged")
 	f.open = 0
 	d.Stop()
 	<-ended
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -63,7 +63,7 @@
 	t.Helper()
 	var due []Message
 	for _, o := range l.Plan(now, needs, nil) {
-		if o.Kind != OrderRecall {
+		if o.Kind != MessageRecall {
 			due = append(due, o)
 		}
 	}
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -39,7 +39,7 @@
 		}
 		l.unheard[p] = now + retryAfter
 		buf = append(buf, Message{
-			Kind: OrderRecall, To: p, Recall: Recall{Lender: l.cfg.Self, Incarnation: l.cfg.Incarnation},
+			Kind: MessageRecall, To: p, Recall: Recall{Lender: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 		})
 	}
 	return buf
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -84,7 +84,7 @@
 const (
 	MessageRequest MessageKind = iota
 	MessageReturn
-	OrderRecall
+	MessageRecall
 )
 
 // Message is a message that the ledger wants to be sent. Its result is told by
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -248,7 +248,7 @@
 		})
 	case lend.MessageReturn:
 		m.to.ledger.TakeBack(m.order.Return)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 		m.clear = m.to.ledger.Recalled(m.order.Recall)
 	}
 	w.sync(m.to)
@@ -270,7 +270,7 @@
 		}
 	case lend.MessageReturn:
 		l.Returned(m.order, ok)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 		if ok && m.clear {
 			l.Acknowledged(m.to.member.Name)
 		}
