--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -43,8 +43,8 @@
 }
 
 type (
-	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.NeverStop, plan.Spread, plan.QueueOnly]
-	testParts = Parts[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.NeverStop, plan.Spread, plan.QueueOnly]
+	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
+	testParts = Parts[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
 )
 
 // world is a mover with two entry processes of one zone.
@@ -71,7 +71,7 @@
 	}
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
 	set := maint.Settings{StepMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, RetryMillis: 1000}
-	board := NewBoard(maint.FullSpeed{}, maint.NeverStop{}, set)
+	board := NewBoard(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
 	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000, NewSurges(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New(testParts{
 		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Board: board,
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -19,7 +19,7 @@
 		covers model.FailureDomain
 		most   int
 	}{{"pruefkette", model.DomainRack, 4}, {"pomar-alto", model.DomainZone, 3}} {
-		benchWave(b, u.name+"/full-speed", FullSpeed{}, u.covers, u.most)
+		benchWave(b, u.name+"/full-speed", FullSpeedPacer{}, u.covers, u.most)
 		benchWave(b, u.name+"/proportional", ProportionalPacer{Halt: 60}, u.covers, u.most)
 		benchWave(b, u.name+"/deadline", Deadline{Slow: 60, Halt: 200}, u.covers, u.most)
 	}
@@ -119,7 +119,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	board := NewPlanner(FullSpeed{}, ZTest{Z: 4, Least: 3}, set)
+	board := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, set)
 	board.Load(w.input())
 	board.Pass(w.now)
 	runtime.GC()
@@ -185,7 +185,7 @@
 func judgedRun[J StopPolicy](j J, seed uint64, bad bool) *world {
 	w := newWorld(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
-	board := NewPlanner(FullSpeed{}, j, quick())
+	board := NewPlanner(FullSpeedPacer{}, j, quick())
 	board.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
 		for _, id := range sortedKeys(w.inst) {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -65,7 +65,7 @@
 		m := w.declare(deadline)
 		losses := rapid.IntRange(0, 20).Draw(t, "losses")
 		ids := sortedKeys(w.inst)
-		run(t, w, FullSpeed{}, NeverStop{}, quick(), m.Deadline+clock.Hour, func() {
+		run(t, w, FullSpeedPacer{}, NeverStop{}, quick(), m.Deadline+clock.Hour, func() {
 			id := ids[w.rnd.IntN(len(ids))]
 			w.lose(id, w.rnd.IntN(1000) < losses)
 			if w.now == m.Deadline && w.unfinished(m) > 0 && w.late[m.Name] == 0 {
@@ -85,7 +85,7 @@
 		w.contracts[0].WindowMillis = clock.Millis(rapid.IntRange(30, 200).Draw(t, "window")) * clock.Minute
 		w.contracts[0].BudgetMillis = clock.Millis(rapid.IntRange(0, 60).Draw(t, "budget")) * clock.Minute
 		m := w.declare(20 * clock.Hour)
-		run(t, w, FullSpeed{}, NeverStop{}, quick(), w.now+10*clock.Hour, nil)
+		run(t, w, FullSpeedPacer{}, NeverStop{}, quick(), w.now+10*clock.Hour, nil)
 		for _, v := range w.violations {
 			t.Fatal(v)
 		}
@@ -102,13 +102,13 @@
 		n := rapid.IntRange(3, 30).Draw(t, "n")
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := w.declare(1)
-		late := PlanOnce(FullSpeed{}, NeverStop{}, quick(), w.input(), w.now).Late
+		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now).Late
 		assert.Equal(t, len(late), 1)
 		w.decls[0].Deadline = late[0].Estimate
 		m = w.decls[0]
 		switch rapid.IntRange(0, 2).Draw(t, "pacer") {
 		case 0:
-			run(t, w, FullSpeed{}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		case 1:
 			run(t, w, ProportionalPacer{Halt: 50}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		default:
@@ -127,7 +127,7 @@
 		w := newWorld(7, 30, 3, 3, 3, model.DomainRack, 4)
 		w.bad = bad
 		m := w.declare(clock.Day)
-		run(t, w, FullSpeed{}, ZTest{Z: 4, Least: 3}, quick(), w.now+6*clock.Hour, nil)
+		run(t, w, FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, quick(), w.now+6*clock.Hour, nil)
 		assert.Equal(t, w.stopped, bad)
 		if bad {
 			assert.Equal(t, w.unfinished(m), 29, "only the canary is touched")
@@ -179,7 +179,7 @@
 		i.Phase, i.Target, i.PhaseSince = model.PhaseReleasing, target, w.now
 		w.inst[id] = i
 	}
-	plan := PlanOnce(FullSpeed{}, NeverStop{}, quick(), w.input(), w.now)
+	plan := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now)
 	assert.Equal(t, len(plan.Steps), 1)
 	assert.Equal(t, plan.Steps[0].Kind, StepRelease)
 	assert.Equal(t, w.inst[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
@@ -192,7 +192,7 @@
 	w := newWorld(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
 	set.PeriodMillis, set.MarginMillis, set.GoalStart = 4*clock.Day, clock.Day, w.now
-	run(t, w, FullSpeed{}, NeverStop{}, set, w.now+9*clock.Day, func() {
+	run(t, w, FullSpeedPacer{}, NeverStop{}, set, w.now+9*clock.Day, func() {
 		for _, i := range w.inst {
 			if w.now > i.MaintainedAt+set.PeriodMillis && i.MaintainedAt > 1 || w.now > 5*clock.Day && i.MaintainedAt == 1 {
 				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.MaintainedAt, w.now)
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -16,12 +16,12 @@
 	MaxConcurrent(PacerInput) int
 }
 
-// FullSpeed is the baseline: as many as the contract allows, whatever callers
+// FullSpeedPacer is the baseline: as many as the contract allows, whatever callers
 // feel.
-type FullSpeed struct{}
+type FullSpeedPacer struct{}
 
 // MaxConcurrent returns the contract's bound.
-func (FullSpeed) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
+func (FullSpeedPacer) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
 
 // ProportionalPacer slows down in proportion to the pressure and halts at Halt.
 type ProportionalPacer struct {
