--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -38,9 +38,9 @@
 	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.Halt-f.PressurePermille)/p.Halt))
 }
 
-// Deadline slows down like Proportional but never below what the deadline
+// DeadlinePacer slows down like Proportional but never below what the deadline
 // needs, up to Halt.
-type Deadline struct {
+type DeadlinePacer struct {
 	// Slow is the pressure in permille at which only the deadline's need
 	// remains; Halt, at least Slow, is where nothing more starts.
 	Slow int
@@ -48,7 +48,7 @@
 }
 
 // MaxConcurrent returns the larger of both, within the contract's bound.
-func (p Deadline) MaxConcurrent(f PacerInput) int {
+func (p DeadlinePacer) MaxConcurrent(f PacerInput) int {
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -30,8 +30,8 @@
 // significantly more than its peers, and slows down by what callers feel.
 type (
 	disk       = store.Store[codec.Codec, store.OSFileSystem]
-	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.ZTest, plan.Balance, plan.Cheapest]
-	moverParts = mover.Parts[*seat, *platform, maint.Deadline, maint.ZTest, plan.Balance, plan.Cheapest]
+	moverDuty  = mover.Mover[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	moverParts = mover.Parts[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
 	keeperDuty = boot.Keeper[*peers.Client, *seat]
 )
 
@@ -130,7 +130,7 @@
 			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which was not heard", id)})
 		},
 	})
-	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
+	board := mover.NewBoard(maint.DeadlinePacer{Slow: slowPermille, Halt: haltPermille},
 		maint.ZTest{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
 	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{ExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
