--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -110,7 +110,7 @@
 		case 0:
 			run(t, w, FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		case 1:
-			run(t, w, ProportionalPacer{Halt: 50}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		default:
 			run(t, w, DeadlinePacer{Slow: 50, Halt: 200}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		}
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -25,17 +25,17 @@
 
 // ProportionalPacer slows down in proportion to the pressure and halts at Halt.
 type ProportionalPacer struct {
-	// Halt is the pressure in permille at which nothing more starts; at
+	// HaltPermille is the pressure in permille at which nothing more starts; at
 	// least 1.
-	Halt int
+	HaltPermille int
 }
 
 // MaxConcurrent is at least 1 below Halt, so that a wave under light pressure goes on.
 func (p ProportionalPacer) MaxConcurrent(f PacerInput) int {
-	if f.PressurePermille >= p.Halt {
+	if f.PressurePermille >= p.HaltPermille {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.Halt-f.PressurePermille)/p.Halt))
+	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.HaltPermille-f.PressurePermille)/p.HaltPermille))
 }
 
 // DeadlinePacer slows down like Proportional but never below what the deadline
@@ -52,5 +52,5 @@
 	if f.PressurePermille >= p.Halt {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{Halt: p.Slow}.MaxConcurrent(f)))
+	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{HaltPermille: p.Slow}.MaxConcurrent(f)))
 }
