--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -43,13 +43,13 @@
 type DeadlinePacer struct {
 	// Slow is the pressure in permille at which only the deadline's need
 	// remains; Halt, at least Slow, is where nothing more starts.
-	Slow int
-	Halt int
+	Slow         int
+	HaltPermille int
 }
 
 // MaxConcurrent returns the larger of both, within the contract's bound.
 func (p DeadlinePacer) MaxConcurrent(f PacerInput) int {
-	if f.PressurePermille >= p.Halt {
+	if f.PressurePermille >= p.HaltPermille {
 		return 0
 	}
 	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{HaltPermille: p.Slow}.MaxConcurrent(f)))
