--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -21,7 +21,7 @@
 	}{{"pruefkette", model.DomainRack, 4}, {"pomar-alto", model.DomainZone, 3}} {
 		benchWave(b, u.name+"/full-speed", FullSpeedPacer{}, u.covers, u.most)
 		benchWave(b, u.name+"/proportional", ProportionalPacer{HaltPermille: 60}, u.covers, u.most)
-		benchWave(b, u.name+"/deadline", DeadlinePacer{Slow: 60, HaltPermille: 200}, u.covers, u.most)
+		benchWave(b, u.name+"/deadline", DeadlinePacer{SlowPermille: 60, HaltPermille: 200}, u.covers, u.most)
 	}
 }
 
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -112,7 +112,7 @@
 		case 1:
 			run(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		default:
-			run(t, w, DeadlinePacer{Slow: 50, HaltPermille: 200}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
 		}
 		if left := w.unfinished(m); left > 0 || w.late[m.Name] > 0 || len(w.violations) > 0 {
 			t.Fatalf("%d left, reported late at %d, %v", left, w.late[m.Name], w.violations)
@@ -146,7 +146,7 @@
 	w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
 	releases := func(p int) (int, Plan) {
 		w.pressure["c00"] = p
-		plan := PlanOnce(DeadlinePacer{Slow: 50, HaltPermille: 200}, NeverStop{}, quick(), w.input(), w.now)
+		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, quick(), w.input(), w.now)
 		return len(plan.Steps), plan
 	}
 	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -41,9 +41,9 @@
 // DeadlinePacer slows down like Proportional but never below what the deadline
 // needs, up to Halt.
 type DeadlinePacer struct {
-	// Slow is the pressure in permille at which only the deadline's need
-	// remains; Halt, at least Slow, is where nothing more starts.
-	Slow         int
+	// SlowPermille is the pressure in permille at which only the deadline's need
+	// remains; Halt, at least SlowPermille, is where nothing more starts.
+	SlowPermille int
 	HaltPermille int
 }
 
@@ -52,5 +52,5 @@
 	if f.PressurePermille >= p.HaltPermille {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{HaltPermille: p.Slow}.MaxConcurrent(f)))
+	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{HaltPermille: p.SlowPermille}.MaxConcurrent(f)))
 }
