--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -67,7 +67,7 @@
 
 // NewPlanner returns a board that knows no instance.
 func NewPlanner[P Pacer, J StopPolicy](pacer P, judge J, set Settings) *Planner[P, J] {
-	set.StepMillis = max(set.StepMillis, 1)
+	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
 	set.RetryMillis = max(set.RetryMillis, 1)
 	b := &Planner[P, J]{
 		pacer: pacer, judge: judge, set: set,
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -7,9 +7,9 @@
 
 // Settings are the figures of the maintenance of one fleet.
 type Settings struct {
-	// StepMillis is the longest time that one maintenance keeps an instance
+	// MaintenanceMillis is the longest time that one maintenance keeps an instance
 	// out of service, from its release to its return; at least 1.
-	StepMillis clock.Millis
+	MaintenanceMillis clock.Millis
 	// CanaryMillis is how long the first instance of a wave is observed after
 	// its return before others follow.
 	CanaryMillis clock.Millis
@@ -38,7 +38,7 @@
 // Defaults are the settings that the benchmarks use.
 func Defaults() Settings {
 	return Settings{
-		StepMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
+		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
 		ObserveMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, RetryMillis: clock.Minute,
 	}
 }
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -54,17 +54,17 @@
 			free += n
 		}
 	}
-	if last := w.decl.Deadline - b.set.StepMillis; free > 0 && now > last {
+	if last := w.decl.Deadline - b.set.MaintenanceMillis; free > 0 && now > last {
 		w.late = append(w.late, Late{
-			Wave: w.decl.Name, Remaining: free, Deadline: w.decl.Deadline, Estimate: now + b.set.StepMillis,
+			Wave: w.decl.Name, Remaining: free, Deadline: w.decl.Deadline, Estimate: now + b.set.MaintenanceMillis,
 			Reason: "instances of pools without a contract are left",
 		})
 	}
-	last := w.decl.Deadline - b.set.StepMillis
+	last := w.decl.Deadline - b.set.MaintenanceMillis
 	if now < last {
-		return min(last, now+max(b.set.StepMillis, (last-now)/8))
+		return min(last, now+max(b.set.MaintenanceMillis, (last-now)/8))
 	}
-	return now + max(b.set.StepMillis/4, 1)
+	return now + max(b.set.MaintenanceMillis/4, 1)
 }
 
 // outlook is what one customer still has before it in a wave.
@@ -107,11 +107,11 @@
 		if slices.Contains(it.pending, w) {
 			o.left[o.busy]--
 		}
-		end := a.out[id].from + b.set.StepMillis
+		end := a.out[id].from + b.set.MaintenanceMillis
 		if end < now {
 			// It has taken longer than a maintenance may; nothing says when it
 			// will be back.
-			end = now + b.set.StepMillis
+			end = now + b.set.MaintenanceMillis
 		}
 		o.ends = append(o.ends, end)
 	}
@@ -157,19 +157,19 @@
 			rounds += (n + width - 1) / width
 		}
 	}
-	end += clock.Millis(rounds) * b.set.StepMillis
+	end += clock.Millis(rounds) * b.set.MaintenanceMillis
 	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", rest, width, a.contract.Covers)
 	if a.contract.WindowMillis == 0 {
 		return end, reason
 	}
-	each := int(a.contract.BudgetMillis / b.set.StepMillis)
+	each := int(a.contract.BudgetMillis / b.set.MaintenanceMillis)
 	if each == 0 {
-		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", a.contract.BudgetMillis, b.set.StepMillis)
+		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", a.contract.BudgetMillis, b.set.MaintenanceMillis)
 	}
-	free := max(0, int((a.contract.BudgetMillis-a.used(now, b.set.StepMillis, b.outages))/b.set.StepMillis))
+	free := max(0, int((a.contract.BudgetMillis-a.used(now, b.set.MaintenanceMillis, b.outages))/b.set.MaintenanceMillis))
 	if rest > free {
 		windows := (rest - free + each - 1) / each
-		end = max(end, now+clock.Millis(windows)*a.contract.WindowMillis+b.set.StepMillis)
+		end = max(end, now+clock.Millis(windows)*a.contract.WindowMillis+b.set.MaintenanceMillis)
 		reason = fmt.Sprintf("%d instances at %d for each window of %d ms", rest, each, a.contract.WindowMillis)
 	}
 	return end, reason
@@ -185,7 +185,7 @@
 	case w.touched.Instances > 0:
 		return max(now, w.canary+b.set.CanaryMillis)
 	default:
-		return now + b.set.StepMillis + b.set.CanaryMillis
+		return now + b.set.MaintenanceMillis + b.set.CanaryMillis
 	}
 }
 
@@ -201,7 +201,7 @@
 	}
 	slices.Sort(places)
 	for range o.left[o.busy] {
-		places = append(places[1:], max(places[0], opens)+b.set.StepMillis)
+		places = append(places[1:], max(places[0], opens)+b.set.MaintenanceMillis)
 		slices.Sort(places)
 	}
 	return max(opens, places[len(places)-1])
@@ -211,12 +211,12 @@
 // reach in time any more, and returns the time of the next check.
 func (b *Planner[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.late = nil
-	next := now + max(b.set.MarginMillis/2, b.set.StepMillis)
+	next := now + max(b.set.MarginMillis/2, b.set.MaintenanceMillis)
 	for _, p := range sortedKeys(b.ready) {
 		late := Late{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
 		for _, s := range b.ready[p].racks {
 			for _, it := range s.items {
-				last := it.deadline - b.set.StepMillis
+				last := it.deadline - b.set.MaintenanceMillis
 				switch {
 				case it.wave != w:
 				case now < last:
@@ -224,7 +224,7 @@
 				default:
 					late.Remaining++
 					late.Deadline = it.deadline
-					next = min(next, now+b.set.StepMillis)
+					next = min(next, now+b.set.MaintenanceMillis)
 				}
 			}
 		}
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -104,8 +104,8 @@
 		return scopePool, true
 	}
 	if c.WindowMillis > 0 {
-		used := a.used(now, b.set.StepMillis, b.outages)
-		if over := used + b.set.StepMillis - c.BudgetMillis; over > 0 {
+		used := a.used(now, b.set.MaintenanceMillis, b.outages)
+		if over := used + b.set.MaintenanceMillis - c.BudgetMillis; over > 0 {
 			wait.Limit, wait.Have, wait.Max = LimitWindow, int64(used), int64(c.BudgetMillis)
 			wait.Until = a.frees(now, over, b.outages)
 			wait.Unblock = fmt.Sprintf("%d ms of earlier outages leave the window or do not take place", over)
@@ -137,5 +137,5 @@
 	for _, p := range a.pools {
 		rest += clock.Millis(it.wave.byPool[p])
 	}
-	return int((rest*b.set.StepMillis + left - 1) / left)
+	return int((rest*b.set.MaintenanceMillis + left - 1) / left)
 }
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -102,7 +102,7 @@
 		if a.lostElsewhere(a.domainOf(it.inst)) {
 			return fmt.Sprintf("%s lost an instance in another %s", c, a.contract.Covers)
 		}
-		used := a.used(now, b.set.StepMillis, b.outages) - clock.Millis(back[c])*b.set.StepMillis
+		used := a.used(now, b.set.MaintenanceMillis, b.outages) - clock.Millis(back[c])*b.set.MaintenanceMillis
 		if a.contract.WindowMillis > 0 && used > a.contract.BudgetMillis {
 			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, a.contract.BudgetMillis)
 		}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -154,7 +154,7 @@
 
 func waveSettings(m conf.Maintenance) maint.Settings {
 	s := maint.Defaults()
-	s.StepMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
+	s.MaintenanceMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
 	s.PeriodMillis = clock.Millis(m.PeriodDays) * clock.Day
 	s.MarginMillis = clock.Millis(m.MarginDays) * clock.Day
 	return s
