--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -87,7 +87,7 @@
 		wakes:    map[string]clock.Millis{},
 	}
 	if set.PeriodMillis > 0 {
-		b.SetDeclaration(model.Maintenance{Name: Periodic, DeclaredAt: set.GoalStart})
+		b.SetDeclaration(model.Maintenance{Name: Periodic, DeclaredAt: set.PeriodicStart})
 	}
 	return b
 }
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -25,8 +25,8 @@
 	// MarginMillis is how long before the end of the period an instance is
 	// taken up; less than PeriodMillis.
 	MarginMillis clock.Millis
-	// GoalStart is the time from which the periodic goal applies.
-	GoalStart clock.Millis
+	// PeriodicStart is the time from which the periodic goal applies.
+	PeriodicStart clock.Millis
 	// RetryMillis is the time after which a pool that waits for the pressure
 	// to fall is looked at again.
 	RetryMillis clock.Millis
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -191,7 +191,7 @@
 func TestPeriodicGoal(t *testing.T) {
 	w := newWorld(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
-	set.PeriodMillis, set.MarginMillis, set.GoalStart = 4*clock.Day, clock.Day, w.now
+	set.PeriodMillis, set.MarginMillis, set.PeriodicStart = 4*clock.Day, clock.Day, w.now
 	run(t, w, FullSpeedPacer{}, NeverStop{}, set, w.now+9*clock.Day, func() {
 		for _, i := range w.inst {
 			if w.now > i.MaintainedAt+set.PeriodMillis && i.MaintainedAt > 1 || w.now > 5*clock.Day && i.MaintainedAt == 1 {
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -170,7 +170,7 @@
 	if b.set.PeriodMillis > 0 {
 		end := b.set.periodEnd(i)
 		at(end - b.set.MarginMillis)
-		at(b.set.GoalStart)
+		at(b.set.PeriodicStart)
 		if i.MaintainedAt > 0 {
 			at(i.MaintainedAt + b.set.ObserveMillis)
 		}
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -91,13 +91,13 @@
 // Instances that were never maintained are spread evenly by a hash of their
 // name, so that the first period does not end for all of them at once.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
-	if i.MaintainedAt >= s.GoalStart && i.MaintainedAt > 0 {
+	if i.MaintainedAt >= s.PeriodicStart && i.MaintainedAt > 0 {
 		return i.MaintainedAt + s.PeriodMillis
 	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(i.ID))
 	spread := uint64(max(s.PeriodMillis-s.MarginMillis, 1))
-	return s.GoalStart + s.MarginMillis + clock.Millis(h.Sum64()%spread)
+	return s.PeriodicStart + s.MarginMillis + clock.Millis(h.Sum64()%spread)
 }
 
 // inMaintenance reports whether a maintenance of the instance has begun. A
