--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -110,7 +110,7 @@
 
 func passes(b *testing.B, w *world, scan bool) {
 	set := Defaults()
-	set.Scan = scan
+	set.FullScan = scan
 	w.now = 100 * clock.Day
 	ids := sortedKeys(w.inst)
 	for k, id := range ids {
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -30,9 +30,9 @@
 	// RetryMillis is the time after which a pool that waits for the pressure
 	// to fall is looked at again.
 	RetryMillis clock.Millis
-	// Scan turns the index off: every pass looks at the whole fleet. It is
+	// FullScan turns the index off: every pass looks at the whole fleet. It is
 	// there to measure what the index saves.
-	Scan bool
+	FullScan bool
 }
 
 // Defaults are the settings that the benchmarks use.
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -217,7 +217,7 @@
 			delete(b.wakes, "wave "+d.wave)
 		}
 	}
-	if b.set.Scan {
+	if b.set.FullScan {
 		b.markAll()
 	}
 	for _, id := range sortedKeys(b.stale) {
