--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -16,9 +16,9 @@
 	// StuckMillis is the time after which an instance in maintenance that was
 	// not verified counts as failed.
 	StuckMillis clock.Millis
-	// ObserveMillis is how long an instance counts as touched by the periodic
+	// ObservationMillis is how long an instance counts as touched by the periodic
 	// maintenance.
-	ObserveMillis clock.Millis
+	ObservationMillis clock.Millis
 	// PeriodMillis is the time within which every instance is maintained
 	// once; 0 turns the periodic goal off.
 	PeriodMillis clock.Millis
@@ -39,7 +39,7 @@
 func Defaults() Settings {
 	return Settings{
 		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
-		ObserveMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, RetryMillis: clock.Minute,
+		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, RetryMillis: clock.Minute,
 	}
 }
 
--- a/core/state/maint/refresh.go
+++ b/core/state/maint/refresh.go
@@ -172,7 +172,7 @@
 		at(end - b.set.MarginMillis)
 		at(b.set.PeriodicStart)
 		if i.MaintainedAt > 0 {
-			at(i.MaintainedAt + b.set.ObserveMillis)
+			at(i.MaintainedAt + b.set.ObservationMillis)
 		}
 	}
 	for _, name := range b.names {
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	if w.periodic() {
-		return i.MaintainedAt+s.ObserveMillis > now
+		return i.MaintainedAt+s.ObservationMillis > now
 	}
 	return w.decl.Selector.Matches(i)
 }
