--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -68,7 +68,7 @@
 // NewPlanner returns a board that knows no instance.
 func NewPlanner[P Pacer, J StopPolicy](pacer P, judge J, set Settings) *Planner[P, J] {
 	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
-	set.RetryMillis = max(set.RetryMillis, 1)
+	set.PressureRetryMillis = max(set.PressureRetryMillis, 1)
 	b := &Planner[P, J]{
 		pacer: pacer, judge: judge, set: set,
 		items:    map[model.InstanceID]*item{},
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -27,9 +27,9 @@
 	MarginMillis clock.Millis
 	// PeriodicStart is the time from which the periodic goal applies.
 	PeriodicStart clock.Millis
-	// RetryMillis is the time after which a pool that waits for the pressure
+	// PressureRetryMillis is the time after which a pool that waits for the pressure
 	// to fall is looked at again.
-	RetryMillis clock.Millis
+	PressureRetryMillis clock.Millis
 	// FullScan turns the index off: every pass looks at the whole fleet. It is
 	// there to measure what the index saves.
 	FullScan bool
@@ -39,7 +39,7 @@
 func Defaults() Settings {
 	return Settings{
 		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
-		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, RetryMillis: clock.Minute,
+		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, PressureRetryMillis: clock.Minute,
 	}
 }
 
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -120,7 +120,7 @@
 	width := b.pacer.MaxConcurrent(PacerInput{PressurePermille: a.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: b.needed(it, a, now)})
 	if a.by[causeMaintenance] >= width {
 		wait.Limit, wait.Have, wait.Max = LimitPressure, int64(a.by[causeMaintenance]), int64(width)
-		wait.Until = now + b.set.RetryMillis
+		wait.Until = now + b.set.PressureRetryMillis
 		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", a.pressure)
 		return scopeItem, true
 	}
