--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -112,14 +112,14 @@
 
 // The limits.
 const (
-	LimitStopped  LimitName = "wave-stopped"
-	LimitCanary   LimitName = "canary"
-	LimitCount    LimitName = "max-unavailable"
-	LimitWindow   LimitName = "window-budget"
-	LimitDomain   LimitName = "failure-domain"
-	LimitPressure LimitName = "pressure"
-	LimitLost     LimitName = "lost"
-	LimitPlatform LimitName = "platform"
+	LimitStopped        LimitName = "wave-stopped"
+	LimitCanary         LimitName = "canary"
+	LimitMaxUnavailable LimitName = "max-unavailable"
+	LimitWindow         LimitName = "window-budget"
+	LimitDomain         LimitName = "failure-domain"
+	LimitPressure       LimitName = "pressure"
+	LimitLost           LimitName = "lost"
+	LimitPlatform       LimitName = "platform"
 )
 
 // Wait says why due work of a pool does not start.
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -96,7 +96,7 @@
 func (b *Planner[P, J]) overLimit(it *item, a *account, now clock.Millis, wait *Wait) (scope, bool) {
 	c := a.contract
 	if a.count+1 > c.MaxUnavailable {
-		wait.Limit, wait.Have, wait.Max = LimitCount, int64(a.count), int64(c.MaxUnavailable)
+		wait.Limit, wait.Have, wait.Max = LimitMaxUnavailable, int64(a.count), int64(c.MaxUnavailable)
 		wait.Unblock = "an instance of the customer comes back into service"
 		if c.MaxUnavailable == 0 {
 			wait.Unblock = "the contract allows at least one unavailable instance"
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -155,7 +155,7 @@
 		assert.Equal(t, len(plan.Waits), 1)
 		want := LimitPressure
 		if c.pressure == 0 {
-			want = LimitCount
+			want = LimitMaxUnavailable
 		}
 		assert.Equal(t, plan.Waits[0].Limit, want)
 		assert.Assert(t, plan.Waits[0].Unblock != "")
@@ -183,7 +183,7 @@
 	assert.Equal(t, len(plan.Steps), 1)
 	assert.Equal(t, plan.Steps[0].Kind, StepRelease)
 	assert.Equal(t, w.inst[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
-	assert.Equal(t, plan.Waits[0].Limit, LimitCount, "the move counts as unavailable")
+	assert.Equal(t, plan.Waits[0].Limit, LimitMaxUnavailable, "the move counts as unavailable")
 }
 
 // Guards against an instance that the periodic goal misses although budgets
