--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -112,7 +112,7 @@
 
 // The limits.
 const (
-	LimitStopped        LimitName = "wave-stopped"
+	LimitWaveStopped    LimitName = "wave-stopped"
 	LimitCanary         LimitName = "canary"
 	LimitMaxUnavailable LimitName = "max-unavailable"
 	LimitWindow         LimitName = "window-budget"
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -75,7 +75,7 @@
 		wait.Limit, wait.Unblock = LimitLost, "the instance announces itself again"
 		return &wait, scopeItem
 	case w.stop != "":
-		wait.Limit, wait.Unblock = LimitStopped, "the touched instances recover or the declaration is withdrawn: "+w.stop
+		wait.Limit, wait.Unblock = LimitWaveStopped, "the touched instances recover or the declaration is withdrawn: "+w.stop
 		return &wait, scopeWave
 	case w.observed == 0 && (w.flight+w.tentative > 0 || w.touched.Instances > 0):
 		wait.Limit, wait.Have, wait.Max = LimitCanary, int64(w.flight+w.tentative), 1
