--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -213,7 +213,7 @@
 	for _, w := range plan.Waits {
 		waits = append(waits, Wait{
 			Instance: w.Instance,
-			Reason:   fmt.Sprintf("pool %s, wave %s: limit %s of %s: %d of %d; %s", w.Pool, w.Wave, w.Limit, w.Customer, w.Have, w.Max, w.Unblock),
+			Reason:   fmt.Sprintf("pool %s, wave %s: limit %s of %s: %d of %d; %s", w.Pool, w.Wave, w.Limit, w.Customer, w.Current, w.Max, w.Unblock),
 		})
 	}
 	for _, s := range plan.Stops {
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -130,7 +130,7 @@
 	// Customer is empty for limits that are not a customer's.
 	Customer model.Customer
 	Limit    LimitName
-	Have     int64
+	Current  int64
 	Max      int64
 	// Unblock says what would end the wait; Until is when the passing of time
 	// alone would, or 0.
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -78,7 +78,7 @@
 		wait.Limit, wait.Unblock = LimitWaveStopped, "the touched instances recover or the declaration is withdrawn: "+w.stop
 		return &wait, scopeWave
 	case w.observed == 0 && (w.flight+w.tentative > 0 || w.touched.Instances > 0):
-		wait.Limit, wait.Have, wait.Max = LimitCanary, int64(w.flight+w.tentative), 1
+		wait.Limit, wait.Current, wait.Max = LimitCanary, int64(w.flight+w.tentative), 1
 		wait.Unblock = fmt.Sprintf("the first instance is back and was observed for %d ms", b.set.CanaryMillis)
 		return &wait, scopeWave
 	}
@@ -96,7 +96,7 @@
 func (b *Planner[P, J]) overLimit(it *item, a *account, now clock.Millis, wait *Wait) (scope, bool) {
 	c := a.contract
 	if a.count+1 > c.MaxUnavailable {
-		wait.Limit, wait.Have, wait.Max = LimitMaxUnavailable, int64(a.count), int64(c.MaxUnavailable)
+		wait.Limit, wait.Current, wait.Max = LimitMaxUnavailable, int64(a.count), int64(c.MaxUnavailable)
 		wait.Unblock = "an instance of the customer comes back into service"
 		if c.MaxUnavailable == 0 {
 			wait.Unblock = "the contract allows at least one unavailable instance"
@@ -106,20 +106,20 @@
 	if c.WindowMillis > 0 {
 		used := a.used(now, b.set.MaintenanceMillis, b.outages)
 		if over := used + b.set.MaintenanceMillis - c.BudgetMillis; over > 0 {
-			wait.Limit, wait.Have, wait.Max = LimitWindow, int64(used), int64(c.BudgetMillis)
+			wait.Limit, wait.Current, wait.Max = LimitWindow, int64(used), int64(c.BudgetMillis)
 			wait.Until = a.frees(now, over, b.outages)
 			wait.Unblock = fmt.Sprintf("%d ms of earlier outages leave the window or do not take place", over)
 			return scopePool, true
 		}
 	}
 	if a.elsewhere(a.domainOf(it.inst)) {
-		wait.Limit, wait.Have, wait.Max = LimitDomain, int64(len(a.domains)), 1
+		wait.Limit, wait.Current, wait.Max = LimitDomain, int64(len(a.domains)), 1
 		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back", c.Covers)
 		return scopeShelf, true
 	}
 	width := b.pacer.MaxConcurrent(PacerInput{PressurePermille: a.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: b.needed(it, a, now)})
 	if a.by[causeMaintenance] >= width {
-		wait.Limit, wait.Have, wait.Max = LimitPressure, int64(a.by[causeMaintenance]), int64(width)
+		wait.Limit, wait.Current, wait.Max = LimitPressure, int64(a.by[causeMaintenance]), int64(width)
 		wait.Until = now + b.set.PressureRetryMillis
 		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", a.pressure)
 		return scopeItem, true
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -61,7 +61,7 @@
 		case it.inst.PhaseSince+b.set.StuckMillis <= now:
 			plan.Waits = append(plan.Waits, Wait{
 				Pool: it.inst.Pool, Wave: it.wave.decl.Name, Instance: id, Limit: LimitPlatform,
-				Have: int64(now - it.inst.PhaseSince), Max: int64(b.set.StuckMillis),
+				Current: int64(now - it.inst.PhaseSince), Max: int64(b.set.StuckMillis),
 				Unblock: "the instance announces itself with a higher incarnation, or an operator declares it lost",
 			})
 		}
