--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -146,8 +146,8 @@
 	Reason  string
 }
 
-// Late says that a deadline cannot be met by the limits as they stand.
-type Late struct {
+// UnmetDeadline says that a deadline cannot be met by the limits as they stand.
+type UnmetDeadline struct {
 	Wave     string
 	Customer model.Customer
 	// Pool is set for the periodic wave, which is checked by pool.
@@ -166,7 +166,7 @@
 	Steps []Step
 	Waits []Wait
 	Stops []Stop
-	Late  []Late
+	Late  []UnmetDeadline
 	// Wake is when the next pass is needed if nothing changes; 0 for never.
 	Wake clock.Millis
 }
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -55,7 +55,7 @@
 		}
 	}
 	if last := w.decl.Deadline - b.set.MaintenanceMillis; free > 0 && now > last {
-		w.late = append(w.late, Late{
+		w.late = append(w.late, UnmetDeadline{
 			Wave: w.decl.Name, Remaining: free, Deadline: w.decl.Deadline, Estimate: now + b.set.MaintenanceMillis,
 			Reason: "instances of pools without a contract are left",
 		})
@@ -123,7 +123,7 @@
 	if total == 0 {
 		return
 	}
-	late := Late{Wave: w.decl.Name, Customer: a.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
+	late := UnmetDeadline{Wave: w.decl.Name, Customer: a.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
 	late.Estimate, late.Reason = b.estimate(w, a, o, now)
 	if late.Estimate == 0 || late.Estimate > w.decl.Deadline {
 		w.late = append(w.late, late)
@@ -213,7 +213,7 @@
 	w.late = nil
 	next := now + max(b.set.MarginMillis/2, b.set.MaintenanceMillis)
 	for _, p := range sortedKeys(b.ready) {
-		late := Late{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
+		late := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
 		for _, s := range b.ready[p].racks {
 			for _, it := range s.items {
 				last := it.deadline - b.set.MaintenanceMillis
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -30,7 +30,7 @@
 	// stop is the reason why nothing more starts; empty while the wave runs.
 	stop string
 	// late is the last outcome of the deadline check.
-	late []Late
+	late []UnmetDeadline
 	// tentative is the number of releases decided in the current pass.
 	tentative int
 }
