--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -219,7 +219,7 @@
 	for _, s := range plan.Stops {
 		waits = append(waits, Wait{Reason: fmt.Sprintf("wave %s stopped: %s", s.Wave, s.Reason)})
 	}
-	for _, l := range plan.Late {
+	for _, l := range plan.UnmetDeadlines {
 		waits = append(waits, Wait{Reason: fmt.Sprintf("wave %s will miss its deadline for %s: %s", l.Wave, l.Customer, l.Reason)})
 	}
 	return waits
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -163,10 +163,10 @@
 
 // Plan is the outcome of a pass.
 type Plan struct {
-	Steps []Step
-	Waits []Wait
-	Stops []Stop
-	Late  []UnmetDeadline
+	Steps          []Step
+	Waits          []Wait
+	Stops          []Stop
+	UnmetDeadlines []UnmetDeadline
 	// Wake is when the next pass is needed if nothing changes; 0 for never.
 	Wake clock.Millis
 }
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -27,7 +27,7 @@
 		if len(w.pending) == 0 {
 			w.late = nil
 		}
-		plan.Late = append(plan.Late, w.late...)
+		plan.UnmetDeadlines = append(plan.UnmetDeadlines, w.late...)
 	}
 	clear(b.check)
 }
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -102,7 +102,7 @@
 		n := rapid.IntRange(3, 30).Draw(t, "n")
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := w.declare(1)
-		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now).Late
+		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now).UnmetDeadlines
 		assert.Equal(t, len(late), 1)
 		w.decls[0].Deadline = late[0].Estimate
 		m = w.decls[0]
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -239,7 +239,7 @@
 // note remembers what a plan reported.
 func (w *world) note(p Plan) {
 	w.stopped = w.stopped || len(p.Stops) > 0
-	for _, l := range p.Late {
+	for _, l := range p.UnmetDeadlines {
 		if w.late[l.Wave] == 0 {
 			w.late[l.Wave] = w.now
 		}
