--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -167,6 +167,6 @@
 	Waits          []Wait
 	Stops          []Stop
 	UnmetDeadlines []UnmetDeadline
-	// Wake is when the next pass is needed if nothing changes; 0 for never.
-	Wake clock.Millis
+	// NextPassAt is when the next pass is needed if nothing changes; 0 for never.
+	NextPassAt clock.Millis
 }
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -23,7 +23,7 @@
 		plan.Waits = append(plan.Waits, b.waits[p])
 	}
 	if b.due.Len() > 0 {
-		plan.Wake = b.due.Top().at
+		plan.NextPassAt = b.due.Top().at
 	}
 	return plan
 }
