--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -55,7 +55,7 @@
 }
 
 func stopped() *Refusal {
-	return &Refusal{Kind: RefusalReady, Reason: "the process is stopping", RetryAfter: clock.Second}
+	return &Refusal{Kind: RefusalNotReady, Reason: "the process is stopping", RetryAfter: clock.Second}
 }
 
 // Done gives a grant back. It waits for room in the ring, so that no end of a
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -15,7 +15,7 @@
 	d.counts.Asks++
 	r := &a.request
 	if !d.ready {
-		d.refuse(a, Refusal{Kind: RefusalReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
+		d.refuse(a, Refusal{Kind: RefusalNotReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
 		return
 	}
 	line, why := d.gate.Line(r.Customer, r.Pool)
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -152,7 +152,7 @@
 	assert.Equal(t, f.Kind, RefusalCapacity, f.Reason)
 	d.Stop()
 	_, f = try(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalReady)
+	assert.Equal(t, f.Kind, RefusalNotReady)
 }
 
 // Guards against waiters that hang when their pool loses its last upstream.
@@ -218,7 +218,7 @@
 	must(t, d)
 	fake.Advance(10 * clock.Minute)
 	_, f := try(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalReady)
+	assert.Equal(t, f.Kind, RefusalNotReady)
 	until(t, "not ready", func(Status) bool { return !d.Ready() }, d)
 	assert.NilError(t, d.Table(model.Delta{From: 5, To: 5}))
 	assert.Assert(t, d.Ready())
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -111,8 +111,8 @@
 	RefusalDeadline
 	// RefusalCapacity: no upstream of the pool is available here.
 	RefusalCapacity
-	// RefusalReady: this process has no valid table.
-	RefusalReady
+	// RefusalNotReady: this process has no valid table.
+	RefusalNotReady
 	// RefusalBusy: the ring of the dispatcher is full.
 	RefusalBusy
 	// RefusalCancelled: the caller gave up.
