--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -57,11 +57,11 @@
 	case OpWave:
 		s.declare(o.Wave)
 	case OpOrdered:
-		if w := s.Waves[o.Number]; w != nil {
+		if w := s.Waves[o.WaveNumber]; w != nil {
 			w.Ordered[o.Machine] = true
 		}
 	case OpBegun:
-		if w := s.Waves[o.Number]; w != nil {
+		if w := s.Waves[o.WaveNumber]; w != nil {
 			w.Started[o.Machine] = true
 		}
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -340,7 +340,7 @@
 	Incarnation Life
 	Result      How
 	Checkpoint  string
-	Number      int
+	WaveNumber  int
 	Machine     MachineID
 	// Job, Config and Wave are nil unless Kind calls for them; they are not
 	// changed after the operation was made.
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -107,7 +107,7 @@
 func OpToWire(o jobs.Op) *wirepb.JobOp {
 	w := &wirepb.JobOp{
 		Kind: int32(o.Kind), Run: int64(o.Run), Worker: text(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
-		Saved: []byte(o.Checkpoint), Number: int64(o.Number), Machine: text(o.Machine),
+		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: text(o.Machine),
 	}
 	if o.Task != (jobs.Task{}) {
 		w.Task = taskToWire(o.Task)
@@ -136,7 +136,7 @@
 	o := jobs.Op{
 		Kind: jobs.OpKind(w.GetKind()), Task: taskFromWire(w.GetTask()), Run: int(w.GetRun()),
 		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Life(w.GetLife()), Result: jobs.How(w.GetHow()),
-		Checkpoint: string(w.GetSaved()), Number: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
+		Checkpoint: string(w.GetSaved()), WaveNumber: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
