--- a/core/coord/claim/claim.go
+++ b/core/coord/claim/claim.go
@@ -74,8 +74,8 @@
 	run      uint64
 	proposer P
 	clock    clock.Clock
-	asks     *ring.Queue[ask]
-	outcomes *ring.Queue[model.ClaimOutcome]
+	asks     *ring.Ring[ask]
+	outcomes *ring.Ring[model.ClaimOutcome]
 	done     chan struct{}
 	ended    chan struct{}
 	asksDone chan struct{}
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -75,7 +75,7 @@
 type Dispatcher[P admit.Picker, Q route.Policy, L lend.Policy] struct {
 	cfg  Settings
 	clk  clock.Clock
-	in   *ring.Queue[message]
+	in   *ring.Ring[message]
 	done chan struct{}
 	stop sync.Once
 	asks sync.Pool
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -14,7 +14,7 @@
 )
 
 // startLending runs a dispatcher of zone z1 or z2 with one upstream in z1.
-func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Queue[lend.Message]) {
+func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Ring[lend.Message]) {
 	t.Helper()
 	all := []model.Member{{Name: "e1", Zone: "z1"}, {Name: "e2", Zone: "z2"}}
 	orders := ring.New[lend.Message](16)
@@ -33,7 +33,7 @@
 	return d, orders
 }
 
-func nextOrder(o *ring.Queue[lend.Message], kind lend.MessageKind) lend.Message {
+func nextOrder(o *ring.Ring[lend.Message], kind lend.MessageKind) lend.Message {
 	for {
 		if next := <-o.C(); next.Kind == kind {
 			return next
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -52,11 +52,11 @@
 	// Lease is the lease of an announcement; 0 means member.DefaultLease.
 	Lease clock.Millis
 	// Events receives the events of the time line; nil drops them.
-	Events *ring.Queue[model.Event]
+	Events *ring.Ring[model.Event]
 	// Lending says how slots are lent; its zero value turns that off. Orders
 	// receives the messages to other entry processes and is needed otherwise.
 	Lending lend.Settings
-	Orders  *ring.Queue[lend.Message]
+	Orders  *ring.Ring[lend.Message]
 }
 
 // Request asks for the right to send one request to an upstream.
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -63,7 +63,7 @@
 	clock   clock.Clock
 	storage S
 	codec   C
-	ring    *ring.Queue[input]
+	ring    *ring.Ring[input]
 	stop    chan struct{}
 	once    sync.Once
 	done    chan struct{}
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -48,7 +48,7 @@
 
 // Lender is the duty. Its ring is filled by the owner of the ledger.
 type Lender[P Peers, B Book, L Links] struct {
-	in    *ring.Queue[lend.Message]
+	in    *ring.Ring[lend.Message]
 	peers P
 	book  B
 	links L
@@ -60,11 +60,11 @@
 
 type peer struct {
 	member model.Member
-	in     *ring.Queue[lend.Message]
+	in     *ring.Ring[lend.Message]
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B Book, L Links](in *ring.Queue[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
+func New[P Peers, B Book, L Links](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
 	d := &Lender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -47,7 +47,7 @@
 // Mover is the duty. Its methods may be called from any goroutine.
 type Mover[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	Parts[G, P, C, J, A, S]
-	in    *ring.Queue[input]
+	in    *ring.Ring[input]
 	done  chan struct{}
 	ended chan struct{}
 
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -19,7 +19,7 @@
 type Recorder struct {
 	process model.Process
 	clock   clock.Clock
-	in      *ring.Queue[input]
+	in      *ring.Ring[input]
 	done    chan struct{}
 	ended   chan struct{}
 	stop    sync.Once
--- a/core/coord/roster/roster.go
+++ b/core/coord/roster/roster.go
@@ -35,7 +35,7 @@
 
 type peer struct {
 	member model.Member
-	in     *ring.Queue[model.Announcement]
+	in     *ring.Ring[model.Announcement]
 }
 
 // New returns a roster for the neighbours given.
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -53,9 +53,9 @@
 	notes   func([]sched.Note)
 	observe func(clock.Millis)
 
-	in      *ring.Queue[input]
-	commits *ring.Queue[*batch]
-	actions *ring.Queue[action]
+	in      *ring.Ring[input]
+	commits *ring.Ring[*batch]
+	actions *ring.Ring[action]
 	done    chan struct{}
 	ended   chan struct{}
 	once    sync.Once
--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -32,7 +32,7 @@
 type Async struct {
 	out     io.Writer
 	clock   clock.Clock
-	lines   *ring.Queue[[]byte]
+	lines   *ring.Ring[[]byte]
 	dropped atomic.Int64
 	done    chan struct{}
 	ended   chan struct{}
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -27,7 +27,7 @@
 	configured map[model.Process]string
 	mu         sync.Mutex
 	// rings holds one ring for each member by identity.
-	rings map[raft.MemberID]*ring.Queue[raft.Message]
+	rings map[raft.MemberID]*ring.Ring[raft.Message]
 	// addresses is the current address of each member.
 	addresses map[raft.MemberID]string
 	done      chan struct{}
@@ -43,7 +43,7 @@
 	return &Senders{
 		configured: byName,
 		client:     c,
-		rings:      map[raft.MemberID]*ring.Queue[raft.Message]{},
+		rings:      map[raft.MemberID]*ring.Ring[raft.Message]{},
 		addresses:  map[raft.MemberID]string{},
 		done:       make(chan struct{}),
 	}
@@ -70,7 +70,7 @@
 	}
 }
 
-func (s *Senders) ring(id raft.MemberID) *ring.Queue[raft.Message] {
+func (s *Senders) ring(id raft.MemberID) *ring.Ring[raft.Message] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.addresses[id] == "" {
@@ -86,7 +86,7 @@
 	return r
 }
 
-func (s *Senders) run(id raft.MemberID, r *ring.Queue[raft.Message]) {
+func (s *Senders) run(id raft.MemberID, r *ring.Ring[raft.Message]) {
 	defer s.wg.Done()
 	for {
 		select {
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -62,7 +62,7 @@
 	link     *uplink.Link
 	timed    *timed
 	front    *front.Front[*timed, *claim.Claimer[*peers.Leader]]
-	events   *ring.Queue[model.Event]
+	events   *ring.Ring[model.Event]
 	leaving  atomic.Bool
 }
 
--- a/io/trans/roles/forward.go
+++ b/io/trans/roles/forward.go
@@ -8,12 +8,12 @@
 
 // forwarder is the duty that passes events from a ring on to the recorder.
 type forwarder struct {
-	in     *ring.Queue[model.Event]
+	in     *ring.Ring[model.Event]
 	record func(model.Event)
 	done   chan struct{}
 }
 
-func newForwarder(in *ring.Queue[model.Event], record func(model.Event)) *forwarder {
+func newForwarder(in *ring.Ring[model.Event], record func(model.Event)) *forwarder {
 	return &forwarder{in: in, record: record, done: make(chan struct{})}
 }
 
