--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -92,7 +92,7 @@
 	rolled clock.Millis
 	needs  []lend.Need
 	orders []lend.Message
-	stocks []lend.Stock
+	stocks []lend.UpstreamSlots
 	table  model.Table
 	// ready is false before the first table, and after a pause of this process
 	// until the table was read again.
--- a/core/state/lend/fair.go
+++ b/core/state/lend/fair.go
@@ -20,7 +20,7 @@
 }
 
 // divide counts the loans of a pool for an ask of a borrower.
-func (l *Ledger[P]) divide(now clock.Millis, a LoanRequest, stocks []Stock) parts {
+func (l *Ledger[P]) divide(now clock.Millis, a LoanRequest, stocks []UpstreamSlots) parts {
 	p := parts{held: map[model.Process]int{a.Borrower: 0}}
 	for k, g := range l.given {
 		if g.loan.Pool == a.Pool {
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -98,7 +98,7 @@
 
 // Grant answers an ask. stocks lists the upstreams of the pool that may be lent,
 // each once; find returns one upstream, false when it is not routable.
-func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []Stock, find func(model.InstanceID) (Stock, bool)) LoanResponse {
+func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
 	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
 	if !l.On() || l.Quarantined(now) {
 		return out
@@ -138,7 +138,7 @@
 
 // renew moves the end of a loan on, unless its upstream is no longer the one
 // that was lent or own requests need the slots.
-func (l *Ledger[P]) renew(k key, until clock.Millis, find func(model.InstanceID) (Stock, bool)) bool {
+func (l *Ledger[P]) renew(k key, until clock.Millis, find func(model.InstanceID) (UpstreamSlots, bool)) bool {
 	g, ok := l.given[k]
 	if !ok {
 		return false
@@ -153,7 +153,7 @@
 	return true
 }
 
-func (l *Ledger[P]) give(a LoanRequest, s Stock, want, part int, until clock.Millis) (Loan, bool) {
+func (l *Ledger[P]) give(a LoanRequest, s UpstreamSlots, want, part int, until clock.Millis) (Loan, bool) {
 	s.Lent = l.lent[s.Instance]
 	n := min(l.policy.Give(s), s.Lendable-s.Lent, s.Slots-s.Running-s.Lent, want)
 	k := key{a.Borrower, a.Incarnation, askID(a.Number) + ID(part)}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -41,7 +41,7 @@
 	} {
 		assert.Equal(t, Idle{}.Want(c.p), c.want, "%+v", c.p)
 	}
-	s := Stock{Loan: Loan{Slots: 4}, Lendable: 3, Peak: 2}
+	s := UpstreamSlots{Loan: Loan{Slots: 4}, Lendable: 3, Peak: 2}
 	assert.Equal(t, Idle{}.Give(s), 2)
 	s.Lent = 1
 	assert.Equal(t, Idle{}.Give(s), 1)
@@ -108,7 +108,7 @@
 	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Ask.Number)})
 
 	a := New(Settings{Self: "a", Lease: 1000, Hold: 5000}, Idle{}, 0)
-	granted := a.Grant(0, o.Ask, []Stock{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
+	granted := a.Grant(0, o.Ask, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
 	a.TakeBack(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Ask.Number)}})
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -14,8 +14,8 @@
 	Lasting clock.Millis
 }
 
-// Stock is the state of an upstream in a process that may lend its slots.
-type Stock struct {
+// UpstreamSlots is the state of an upstream in a process that may lend its slots.
+type UpstreamSlots struct {
 	Loan
 	// Slots of the Loan is this process's share; Lendable is the part of it
 	// that may be lent, and PerSlot the connections that go with a lent slot.
@@ -36,7 +36,7 @@
 	// Want returns the slots to ask for.
 	Want(p Pressure) int
 	// Give returns the slots to lend, at most Lendable-Lent.
-	Give(s Stock) int
+	Give(s UpstreamSlots) int
 	// Keep reports whether a held loan that was unused for a time is kept.
 	Keep(idle, lease clock.Millis) bool
 }
@@ -48,7 +48,7 @@
 func (Never) Want(Pressure) int { return 0 }
 
 // Give returns 0.
-func (Never) Give(Stock) int { return 0 }
+func (Never) Give(UpstreamSlots) int { return 0 }
 
 // Keep returns false.
 func (Never) Keep(clock.Millis, clock.Millis) bool { return false }
@@ -84,7 +84,7 @@
 
 // Give returns the idle slots above the reserve; nothing while own requests
 // wait.
-func (Idle) Give(s Stock) int {
+func (Idle) Give(s UpstreamSlots) int {
 	if s.Waiting > 0 {
 		return 0
 	}
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -23,8 +23,8 @@
 // does not rest on the policy.
 type eager struct{ lend.Idle }
 
-func (eager) Want(p lend.Pressure) int { return p.Waiting }
-func (eager) Give(s lend.Stock) int    { return s.Lendable }
+func (eager) Want(p lend.Pressure) int      { return p.Waiting }
+func (eager) Give(s lend.UpstreamSlots) int { return s.Lendable }
 
 // run is a request in flight.
 type run struct {
@@ -243,7 +243,7 @@
 	now := w.at(m.to)
 	switch m.order.Kind {
 	case lend.MessageRequest:
-		m.answer = m.to.ledger.Grant(now, m.order.Ask, m.to.router.Stocks(now, "p", 0, nil), func(id model.InstanceID) (lend.Stock, bool) {
+		m.answer = m.to.ledger.Grant(now, m.order.Ask, m.to.router.Stocks(now, "p", 0, nil), func(id model.InstanceID) (lend.UpstreamSlots, bool) {
 			return m.to.router.Stock(id, func(model.Pool) int { return 0 })
 		})
 	case lend.MessageReturn:
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -21,7 +21,7 @@
 
 // Stocks appends the upstreams of a pool that are not ejected, as a lender
 // sees them.
-func (r *Router[P]) Stocks(now clock.Millis, p model.Pool, waiting int, buf []lend.Stock) []lend.Stock {
+func (r *Router[P]) Stocks(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
 	g := r.pools[p]
 	if g == nil {
 		return buf
@@ -37,16 +37,16 @@
 }
 
 // Stock returns a routable upstream as a lender sees it.
-func (r *Router[P]) Stock(id model.InstanceID, waiting func(model.Pool) int) (lend.Stock, bool) {
+func (r *Router[P]) Stock(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
 	u := r.upstreams[id]
 	if u == nil || u.Pool == "" {
-		return lend.Stock{}, false
+		return lend.UpstreamSlots{}, false
 	}
 	return u.stock(waiting(u.Pool)), true
 }
 
-func (u *Upstream) stock(waiting int) lend.Stock {
-	return lend.Stock{
+func (u *Upstream) stock(waiting int) lend.UpstreamSlots {
+	return lend.UpstreamSlots{
 		Loan: lend.Loan{
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
 			Incarnation: u.Incarnation, HealthPath: u.HealthPath, Slots: u.Slots,
