--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -183,7 +183,7 @@
 func (d *Dispatcher[P, Q, L]) refuse(a *ask, r Refusal) {
 	d.counts.Refused++
 	d.felt.refused(a.request.Customer, a.request.Pool, r.Kind)
-	if r.Kind != RefusalUnknown && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
+	if r.Kind != RefusalNoContract && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
 		d.refusals[refused{a.request.Customer, a.request.Pool, r.Reason}]++
 	}
 	a.waiter = nil
@@ -199,7 +199,7 @@
 	r := Refusal{Reason: why.String(), RetryAfter: clock.Second}
 	switch why {
 	case admit.ReasonContract, admit.ReasonPool:
-		r.Kind, r.RetryAfter = RefusalUnknown, 0
+		r.Kind, r.RetryAfter = RefusalNoContract, 0
 	case admit.ReasonDeadline:
 		r.Kind = RefusalDeadline
 	case admit.ReasonShare:
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -130,8 +130,8 @@
 	}{
 		{Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}, RefusalLimit},
 		{Request{Customer: "acme", Pool: "svc", Deadline: 1}, RefusalDeadline},
-		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalUnknown},
-		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalUnknown},
+		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalNoContract},
+		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalNoContract},
 	} {
 		_, f := d.Acquire(t.Context(), c.r)
 		assert.Equal(t, f.Kind, c.kind, f.Reason)
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -103,8 +103,8 @@
 
 // The kinds of refusal.
 const (
-	// RefusalUnknown: no contract of the customer covers the service.
-	RefusalUnknown RefusalKind = iota
+	// RefusalNoContract: no contract of the customer covers the service.
+	RefusalNoContract RefusalKind = iota
 	// RefusalLimit: a limit of the contract is reached.
 	RefusalLimit
 	// RefusalDeadline: the request cannot end in time.
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -178,7 +178,7 @@
 // refusalStatus returns the status for a refusal of the dispatcher.
 func refusalStatus(k entry.RefusalKind) int {
 	switch k {
-	case entry.RefusalUnknown:
+	case entry.RefusalNoContract:
 		return http.StatusNotFound
 	case entry.RefusalLimit:
 		return http.StatusTooManyRequests
