--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -84,7 +84,7 @@
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
-	assert.Assert(t, g.Upstream.Loan != "" && g.Upstream.Until == 1<<60)
+	assert.Assert(t, g.Upstream.Loan != "" && g.Upstream.WriteDeadline == 1<<60)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -87,9 +87,9 @@
 	// Loan names the loan that the slot belongs to; empty for the own share.
 	// The connections of each loan are apart from all others.
 	Loan string
-	// Until is the time from which no byte of the request may be written; 0 for
+	// WriteDeadline is the time from which no byte of the request may be written; 0 for
 	// a slot of the own share.
-	Until clock.Millis
+	WriteDeadline clock.Millis
 }
 
 // Grant is the right to send one request. Its holder must call Done once.
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -27,7 +27,7 @@
 	body := &outbound{head: x.body.head, rest: x.body.rest, limit: x.body.limit}
 	end := func(o entry.Outcome) { f.gate.Done(g.Ticket, o, f.clk.Now()-begun) }
 	up := uplink.Upstream{
-		Name: string(g.Upstream.Instance), Until: g.Upstream.Until, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
+		Name: string(g.Upstream.Instance), Until: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
 		Connections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
 	}
 	if g.Upstream.Loan != "" {
