--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -255,7 +255,7 @@
 		}
 	}
 	switch {
-	case o.Result == HowDone && !step.LongRunning:
+	case o.Result == ResultDone && !step.LongRunning:
 		s.done(r, o.Task)
 	case o.Result == HowFailed && !step.LongRunning:
 		t.Failures++
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -34,16 +34,16 @@
 	}{
 		{"accepted", steps, nil, StatusQueued},
 		{"started", steps, []Op{assigned(one, 1)}, StatusRunning},
-		{"one step done", steps, []Op{assigned(one, 1), ended(one, 1, HowDone)}, StatusRunning},
-		{"all done", steps, []Op{assigned(one, 1), ended(one, 1, HowDone), assigned(two, 1), ended(two, 1, HowDone)}, StatusCompleted},
+		{"one step done", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone)}, StatusRunning},
+		{"all done", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone), assigned(two, 1), ended(two, 1, ResultDone)}, StatusCompleted},
 		{"failed once", steps, []Op{assigned(one, 1), ended(one, 1, HowFailed)}, StatusRunning},
 		{"failed twice", steps, []Op{assigned(one, 1), ended(one, 1, HowFailed), assigned(one, 2), ended(one, 2, HowFailed)}, StatusFailed},
 		{"lost twice", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 2, HowLost)}, StatusRunning},
-		{"end of an earlier run", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 1, HowDone)}, StatusRunning},
+		{"end of an earlier run", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 1, ResultDone)}, StatusRunning},
 		{"cancelled", steps, []Op{{Kind: OpCancel, Task: one}}, StatusCancelled},
-		{"cancelled after its end", steps, []Op{assigned(one, 1), ended(one, 1, HowDone), assigned(two, 1), ended(two, 1, HowDone), {Kind: OpCancel, Task: one}}, StatusCompleted},
-		{"done after a cancel", steps, []Op{assigned(one, 1), {Kind: OpCancel, Task: one}, ended(one, 1, HowDone)}, StatusCancelled},
-		{"lasting task ended well", lasting, []Op{assigned(one, 1), ended(one, 1, HowDone)}, StatusRunning},
+		{"cancelled after its end", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone), assigned(two, 1), ended(two, 1, ResultDone), {Kind: OpCancel, Task: one}}, StatusCompleted},
+		{"done after a cancel", steps, []Op{assigned(one, 1), {Kind: OpCancel, Task: one}, ended(one, 1, ResultDone)}, StatusCancelled},
+		{"lasting task ended well", lasting, []Op{assigned(one, 1), ended(one, 1, ResultDone)}, StatusRunning},
 		{"lasting task failed often", lasting, []Op{assigned(one, 1), ended(one, 1, HowFailed), assigned(one, 2), ended(one, 2, HowFailed)}, StatusRunning},
 		{"submitted again", steps, []Op{assigned(one, 1), submitted("a", steps...)}, StatusRunning},
 	} {
@@ -87,7 +87,7 @@
 		task := Task{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
 		s.Apply([]Op{submitted("a", Step{TaskCount: 3}), {Kind: OpWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
 		c := s.Clone()
-		c.Apply([]Op{assigned(task, 1), ended(task, 1, HowDone), {Kind: OpBegun, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
+		c.Apply([]Op{assigned(task, 1), ended(task, 1, ResultDone), {Kind: OpBegun, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
 		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
 		assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 		assert.Equal(t, len(s.Waves[1].Started), 0)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -285,7 +285,7 @@
 
 // The ends of a run.
 const (
-	HowDone How = iota
+	ResultDone How = iota
 	// HowFailed counts as an attempt.
 	HowFailed
 	HowStopped
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -98,7 +98,7 @@
 	}{
 		{"run out", 1, func(r *rig, first Orders) {
 			r.now += ticketLife
-			r.hear("w1", 1, nil, endsOf(first, jobs.HowDone)...)
+			r.hear("w1", 1, nil, endsOf(first, jobs.ResultDone)...)
 		}},
 		{"new life", 2, func(r *rig, _ Orders) { r.hear("w1", 2, nil) }},
 		{"refused", 1, func(r *rig, first Orders) { r.hear("w1", 1, nil, endsOf(first, jobs.HowRefused)...) }},
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -120,14 +120,14 @@
 	before := rec.Status
 	current := r.current()
 	b.apply(jobs.Op{Kind: jobs.OpEnd, Task: r.task, Run: r.number, Worker: w.id, Result: how, Checkpoint: saved}, now)
-	if how != jobs.HowDone {
+	if how != jobs.ResultDone {
 		reason := how.String()
 		if r.why != "" {
 			reason += ": " + r.why
 		}
 		b.noteRun(DecisionEnded, r, w, reason)
 	}
-	if how == jobs.HowDone || how == jobs.HowFailed {
+	if how == jobs.ResultDone || how == jobs.HowFailed {
 		b.judgeWorker(w, r, how == jobs.HowFailed, now)
 	}
 	if how == jobs.HowRefused {
@@ -144,7 +144,7 @@
 			b.stopJob(rec)
 		}
 	case !current:
-	case how == jobs.HowDone && !r.step.LongRunning:
+	case how == jobs.ResultDone && !r.step.LongRunning:
 		b.follow(rec, r.task, now)
 	default:
 		b.queue(rec, r.task, now)
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -75,13 +75,13 @@
 	p := r.Pass(r.now)
 	first := orders(p, "w1")
 	r.now += 1000
-	r.hear("w1", 1, nil, endsOf(first, jobs.HowDone)[:1]...)
+	r.hear("w1", 1, nil, endsOf(first, jobs.ResultDone)[:1]...)
 	p = r.Pass(r.now)
 	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].DoneTasks, 6)
 	assert.Equal(t, len(orders(p, "w1").Starts), 1)
 	r.Leave("w2", 1, r.now)
 	r.now += 500
-	done := endsOf(orders(p, "w1"), jobs.HowDone)
+	done := endsOf(orders(p, "w1"), jobs.ResultDone)
 	done[0].Number = 2
 	r.hear("w1", 1, nil, done...)
 	r.Pass(r.now)
@@ -146,7 +146,7 @@
 		var ends []End
 		if len(running) > 0 {
 			number++
-			ends = append(ends, End{Number: number, Task: running[0].Task, Run: running[0].Run, How: jobs.HowDone})
+			ends = append(ends, End{Number: number, Task: running[0].Task, Run: running[0].Run, How: jobs.ResultDone})
 			running = running[1:]
 		}
 		r.hear("w1", 1, running, ends...)
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -274,7 +274,7 @@
 	}
 	failed := failedRun{of[0], o.Run}
 	for _, t := range of {
-		w.done[t] = w.done[t] || o.Result == jobs.HowDone
+		w.done[t] = w.done[t] || o.Result == jobs.ResultDone
 		if o.Result == jobs.HowFailed && !w.failed[failed] {
 			w.fails[t]++
 		}
@@ -422,11 +422,11 @@
 		if step.LongRunning || (step.Gang && !r.formed) || x.stuck || w.now-r.began < r.takes {
 			continue
 		}
-		how := jobs.HowDone
+		how := jobs.ResultDone
 		if r.fails {
 			how = jobs.HowFailed
 		}
-		if step.Gang && how == jobs.HowDone {
+		if step.Gang && how == jobs.ResultDone {
 			w.endGang(t, r)
 		} else {
 			x.end(t, r, how)
@@ -450,7 +450,7 @@
 	for _, x := range w.workers {
 		for t, y := range x.runs {
 			if gangRun(t, y) == key {
-				x.end(t, y, jobs.HowDone)
+				x.end(t, y, jobs.ResultDone)
 			}
 		}
 	}
