--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -359,7 +359,7 @@
 		r.n.Starts++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.HowLost:
 		r.n.Lost++
-	case o.Kind == jobs.OpEnd && o.Result == jobs.HowFailed:
+	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultFailed:
 		r.n.Failed++
 	}
 }
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -257,7 +257,7 @@
 	switch {
 	case o.Result == ResultDone && !step.LongRunning:
 		s.done(r, o.Task)
-	case o.Result == HowFailed && !step.LongRunning:
+	case o.Result == ResultFailed && !step.LongRunning:
 		t.Failures++
 		if t.Failures >= max(r.MaxAttempts, 1) && !r.Status.Final() {
 			s.finish(r, StatusFailed)
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -36,15 +36,15 @@
 		{"started", steps, []Op{assigned(one, 1)}, StatusRunning},
 		{"one step done", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone)}, StatusRunning},
 		{"all done", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone), assigned(two, 1), ended(two, 1, ResultDone)}, StatusCompleted},
-		{"failed once", steps, []Op{assigned(one, 1), ended(one, 1, HowFailed)}, StatusRunning},
-		{"failed twice", steps, []Op{assigned(one, 1), ended(one, 1, HowFailed), assigned(one, 2), ended(one, 2, HowFailed)}, StatusFailed},
+		{"failed once", steps, []Op{assigned(one, 1), ended(one, 1, ResultFailed)}, StatusRunning},
+		{"failed twice", steps, []Op{assigned(one, 1), ended(one, 1, ResultFailed), assigned(one, 2), ended(one, 2, ResultFailed)}, StatusFailed},
 		{"lost twice", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 2, HowLost)}, StatusRunning},
 		{"end of an earlier run", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 1, ResultDone)}, StatusRunning},
 		{"cancelled", steps, []Op{{Kind: OpCancel, Task: one}}, StatusCancelled},
 		{"cancelled after its end", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone), assigned(two, 1), ended(two, 1, ResultDone), {Kind: OpCancel, Task: one}}, StatusCompleted},
 		{"done after a cancel", steps, []Op{assigned(one, 1), {Kind: OpCancel, Task: one}, ended(one, 1, ResultDone)}, StatusCancelled},
 		{"lasting task ended well", lasting, []Op{assigned(one, 1), ended(one, 1, ResultDone)}, StatusRunning},
-		{"lasting task failed often", lasting, []Op{assigned(one, 1), ended(one, 1, HowFailed), assigned(one, 2), ended(one, 2, HowFailed)}, StatusRunning},
+		{"lasting task failed often", lasting, []Op{assigned(one, 1), ended(one, 1, ResultFailed), assigned(one, 2), ended(one, 2, ResultFailed)}, StatusRunning},
 		{"submitted again", steps, []Op{assigned(one, 1), submitted("a", steps...)}, StatusRunning},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -286,8 +286,8 @@
 // The ends of a run.
 const (
 	ResultDone How = iota
-	// HowFailed counts as an attempt.
-	HowFailed
+	// ResultFailed counts as an attempt.
+	ResultFailed
 	HowStopped
 	// HowLapsed: the worker's lease ran out.
 	HowLapsed
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -127,14 +127,14 @@
 		}
 		b.noteRun(DecisionEnded, r, w, reason)
 	}
-	if how == jobs.ResultDone || how == jobs.HowFailed {
-		b.judgeWorker(w, r, how == jobs.HowFailed, now)
+	if how == jobs.ResultDone || how == jobs.ResultFailed {
+		b.judgeWorker(w, r, how == jobs.ResultFailed, now)
 	}
 	if how == jobs.HowRefused {
 		b.refusedTicket(w, r)
 	}
 	delete(b.failedOn, r.task)
-	if how == jobs.HowFailed && !rec.Status.Final() {
+	if how == jobs.ResultFailed && !rec.Status.Final() {
 		b.failedOn[r.task] = w.id
 	}
 	switch {
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -45,7 +45,7 @@
 	first, second := orders(p, "w1"), orders(p, "w2")
 	r.now += 300
 	failed := first.Starts[0]
-	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, How: jobs.HowFailed, Saved: "s1"})
+	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, How: jobs.ResultFailed, Saved: "s1"})
 	r.hear("w2", 1, runningOf(second))
 	p = r.Pass(r.now)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
@@ -109,9 +109,9 @@
 			}
 			// Two tasks fail in the first run, one of the other worker in the second.
 			if (attempt == 0) == (id == "w1") {
-				ends[0].How = jobs.HowFailed
+				ends[0].How = jobs.ResultFailed
 				if attempt == 0 {
-					ends[1].How = jobs.HowFailed
+					ends[1].How = jobs.ResultFailed
 				}
 			}
 			r.now += 100
@@ -284,7 +284,7 @@
 	r.hear("w1", 1, nil)
 	o := orders(r.Pass(r.now), "w1")
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
 	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 0)
 	r.now += elsewhereMillis
 	r.hear("w1", 1, nil)
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -180,7 +180,7 @@
 	o := orders(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 8)
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
 	r.Pass(r.now)
 	r.submit("good", small)
 	r.now += 100
@@ -211,7 +211,7 @@
 	o := orders(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 3)
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
 	r.Pass(r.now)
 	r.submit("d", small)
 	r.now += 800
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -275,11 +275,11 @@
 	failed := failedRun{of[0], o.Run}
 	for _, t := range of {
 		w.done[t] = w.done[t] || o.Result == jobs.ResultDone
-		if o.Result == jobs.HowFailed && !w.failed[failed] {
+		if o.Result == jobs.ResultFailed && !w.failed[failed] {
 			w.fails[t]++
 		}
 	}
-	w.failed[failed] = w.failed[failed] || o.Result == jobs.HowFailed
+	w.failed[failed] = w.failed[failed] || o.Result == jobs.ResultFailed
 }
 
 // deliver hands answers to workers; those that come after a second are
@@ -424,7 +424,7 @@
 		}
 		how := jobs.ResultDone
 		if r.fails {
-			how = jobs.HowFailed
+			how = jobs.ResultFailed
 		}
 		if step.Gang && how == jobs.ResultDone {
 			w.endGang(t, r)
