--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -288,7 +288,7 @@
 	ResultDone How = iota
 	// ResultFailed counts as an attempt.
 	ResultFailed
-	HowStopped
+	ResultStopped
 	// HowLapsed: the worker's lease ran out.
 	HowLapsed
 	// HowRefused: the worker did not start the run.
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -102,7 +102,7 @@
 		r.hear("w2", 1, nil)
 		p := r.Pass(r.now)
 		for _, id := range []string{"w1", "w2"} {
-			ends := endsOf(orders(p, id), jobs.HowStopped)
+			ends := endsOf(orders(p, id), jobs.ResultStopped)
 			for n := range ends {
 				number++
 				ends[n].Number = number
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -310,7 +310,7 @@
 	for _, s := range a.orders.Stops {
 		x.closed[s.Task] = max(x.closed[s.Task], s.Run)
 		if r := x.runs[s.Task]; r != nil && r.run == s.Run {
-			x.end(s.Task, r, jobs.HowStopped)
+			x.end(s.Task, r, jobs.ResultStopped)
 		}
 	}
 	for _, s := range a.orders.Starts {
@@ -383,7 +383,7 @@
 			case all && !r.formed:
 				r.formed, r.began = true, w.now
 			case !all && (r.formed || w.now-r.began > gangTimeout):
-				x.end(t, r, jobs.HowStopped)
+				x.end(t, r, jobs.ResultStopped)
 			}
 		}
 	}
