--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -289,8 +289,8 @@
 	// ResultFailed counts as an attempt.
 	ResultFailed
 	ResultStopped
-	// HowLapsed: the worker's lease ran out.
-	HowLapsed
+	// ResultExpired: the worker's lease ran out.
+	ResultExpired
 	// HowRefused: the worker did not start the run.
 	HowRefused
 	// HowLost: the run did not reach the worker, or the worker is gone.
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -413,7 +413,7 @@
 func (w *world) play(_ int, x *instance) {
 	if w.now >= x.until {
 		for t, r := range x.runs {
-			x.end(t, r, jobs.HowLapsed)
+			x.end(t, r, jobs.ResultExpired)
 		}
 	}
 	ended := false
