--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -291,8 +291,8 @@
 	ResultStopped
 	// ResultExpired: the worker's lease ran out.
 	ResultExpired
-	// HowRefused: the worker did not start the run.
-	HowRefused
+	// ResultRefused: the worker did not start the run.
+	ResultRefused
 	// HowLost: the run did not reach the worker, or the worker is gone.
 	HowLost
 )
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -101,7 +101,7 @@
 			r.hear("w1", 1, nil, endsOf(first, jobs.ResultDone)...)
 		}},
 		{"new life", 2, func(r *rig, _ Orders) { r.hear("w1", 2, nil) }},
-		{"refused", 1, func(r *rig, first Orders) { r.hear("w1", 1, nil, endsOf(first, jobs.HowRefused)...) }},
+		{"refused", 1, func(r *rig, first Orders) { r.hear("w1", 1, nil, endsOf(first, jobs.ResultRefused)...) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newAdvisedRig()
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -130,7 +130,7 @@
 	if how == jobs.ResultDone || how == jobs.ResultFailed {
 		b.judgeWorker(w, r, how == jobs.ResultFailed, now)
 	}
-	if how == jobs.HowRefused {
+	if how == jobs.ResultRefused {
 		b.refusedTicket(w, r)
 	}
 	delete(b.failedOn, r.task)
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -335,7 +335,7 @@
 	}
 	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
 	if s.Run <= x.closed[s.Task] || !need.Fits(x.room.Minus(used)) {
-		x.end(s.Task, &simRun{run: s.Run}, jobs.HowRefused)
+		x.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
 		return
 	}
 	w.checkStart(x, s)
