--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -357,7 +357,7 @@
 	switch {
 	case o.Kind == jobs.OpAssign:
 		r.n.Starts++
-	case o.Kind == jobs.OpEnd && o.Result == jobs.HowLost:
+	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultLost:
 		r.n.Lost++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultFailed:
 		r.n.Failed++
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -38,8 +38,8 @@
 		{"all done", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone), assigned(two, 1), ended(two, 1, ResultDone)}, StatusCompleted},
 		{"failed once", steps, []Op{assigned(one, 1), ended(one, 1, ResultFailed)}, StatusRunning},
 		{"failed twice", steps, []Op{assigned(one, 1), ended(one, 1, ResultFailed), assigned(one, 2), ended(one, 2, ResultFailed)}, StatusFailed},
-		{"lost twice", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 2, HowLost)}, StatusRunning},
-		{"end of an earlier run", steps, []Op{assigned(one, 1), ended(one, 1, HowLost), assigned(one, 2), ended(one, 1, ResultDone)}, StatusRunning},
+		{"lost twice", steps, []Op{assigned(one, 1), ended(one, 1, ResultLost), assigned(one, 2), ended(one, 2, ResultLost)}, StatusRunning},
+		{"end of an earlier run", steps, []Op{assigned(one, 1), ended(one, 1, ResultLost), assigned(one, 2), ended(one, 1, ResultDone)}, StatusRunning},
 		{"cancelled", steps, []Op{{Kind: OpCancel, Task: one}}, StatusCancelled},
 		{"cancelled after its end", steps, []Op{assigned(one, 1), ended(one, 1, ResultDone), assigned(two, 1), ended(two, 1, ResultDone), {Kind: OpCancel, Task: one}}, StatusCompleted},
 		{"done after a cancel", steps, []Op{assigned(one, 1), {Kind: OpCancel, Task: one}, ended(one, 1, ResultDone)}, StatusCancelled},
@@ -60,7 +60,7 @@
 func TestRunNumbersGrow(t *testing.T) {
 	task := Task{Job: "a"}
 	s := New()
-	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), assigned(task, 1), ended(task, 1, HowLost), assigned(task, 1)}, 1)
+	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), assigned(task, 1), ended(task, 1, ResultLost), assigned(task, 1)}, 1)
 	assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 	s.Apply([]Op{assigned(task, 2)}, 1)
 	assert.Equal(t, s.Task(task).Run, 2)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -293,8 +293,8 @@
 	ResultExpired
 	// ResultRefused: the worker did not start the run.
 	ResultRefused
-	// HowLost: the run did not reach the worker, or the worker is gone.
-	HowLost
+	// ResultLost: the run did not reach the worker, or the worker is gone.
+	ResultLost
 )
 
 var howNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -225,7 +225,7 @@
 		case r.listed && (r.stopping || !r.current()):
 			w.beat.stops = append(w.beat.stops, Stop{Task: id, Run: r.number})
 		case !r.listed && (r.stopping || !r.current() || w.draining):
-			b.end(w, r, jobs.HowLost, "", now)
+			b.end(w, r, jobs.ResultLost, "", now)
 		case !r.listed:
 			w.beat.starts = append(w.beat.starts, b.startOf(w, r))
 		case w.draining:
@@ -294,7 +294,7 @@
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		r.why = why
-		b.end(w, r, jobs.HowLost, "", now)
+		b.end(w, r, jobs.ResultLost, "", now)
 	}
 	b.dropStrays(w)
 }
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -130,7 +130,7 @@
 	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpBegun) {
 		return jobs.Op{}, jobError(KindRange, "operation of kind %d", w.GetKind())
 	}
-	if w.GetHow() < 0 || w.GetHow() > int32(jobs.HowLost) {
+	if w.GetHow() < 0 || w.GetHow() > int32(jobs.ResultLost) {
 		return jobs.Op{}, jobError(KindRange, "end of kind %d", w.GetHow())
 	}
 	o := jobs.Op{
