--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -17,7 +17,7 @@
 	return Op{Kind: OpAssign, Task: t, Run: run, Worker: "w", Incarnation: 1}
 }
 
-func ended(t Task, run int, how How) Op {
+func ended(t Task, run int, how Result) Op {
 	return Op{Kind: OpEnd, Task: t, Run: run, Result: how, Checkpoint: "c"}
 }
 
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -280,12 +280,12 @@
 // Completed reports whether the maintenance of every machine has begun.
 func (w *Wave) Completed() bool { return len(w.Started) >= len(w.Machines) }
 
-// How says how a run ended.
-type How uint8
+// Result says how a run ended.
+type Result uint8
 
 // The ends of a run.
 const (
-	ResultDone How = iota
+	ResultDone Result = iota
 	// ResultFailed counts as an attempt.
 	ResultFailed
 	ResultStopped
@@ -300,7 +300,7 @@
 var howNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
 
 // String returns the name used in logs.
-func (h How) String() string {
+func (h Result) String() string {
 	if int(h) >= len(howNames) {
 		return "unknown"
 	}
@@ -338,7 +338,7 @@
 	Run         int
 	Worker      WorkerID
 	Incarnation Life
-	Result      How
+	Result      Result
 	Checkpoint  string
 	WaveNumber  int
 	Machine     MachineID
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -111,7 +111,7 @@
 }
 
 // end notes the end of a run and queues what may follow it.
-func (b *Board[O, J]) end(w *worker, r *run, how jobs.How, saved string, now clock.Millis) {
+func (b *Board[O, J]) end(w *worker, r *run, how jobs.Result, saved string, now clock.Millis) {
 	if saved == "" {
 		saved = r.saved
 	}
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -192,7 +192,7 @@
 	assert.DeepEqual(t, started, []jobs.ID{"good"})
 }
 
-func endsOf(o Orders, how jobs.How) []End {
+func endsOf(o Orders, how jobs.Result) []End {
 	var out []End
 	for n, s := range o.Starts {
 		out = append(out, End{Number: int64(n + 1), Task: s.Task, Run: s.Run, How: how})
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -73,7 +73,7 @@
 	Number int64
 	Task   jobs.Task
 	Run    int
-	How    jobs.How
+	How    jobs.Result
 	Saved  string
 }
 
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -318,7 +318,7 @@
 	}
 }
 
-func (x *instance) end(t jobs.Task, r *simRun, how jobs.How) {
+func (x *instance) end(t jobs.Task, r *simRun, how jobs.Result) {
 	x.number++
 	x.ends = append(x.ends, End{Number: x.number, Task: t, Run: r.run, How: how, Saved: fmt.Sprint("s", r.run, "-", t.Index)})
 	x.closed[t] = max(x.closed[t], r.run)
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -35,7 +35,7 @@
 		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpBegun)).Draw(t, "op")),
 		Task: jobs.Task{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
 		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Incarnation: 7,
-		Result: jobs.How(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
+		Result: jobs.Result(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
 		WaveNumber: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
 	}
 	switch o.Kind {
