--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -74,7 +74,7 @@
 	in.done = ctx.Done()
 	// A quarter of the ring is for messages of peers: were they dropped in
 	// favour of proposals, the load would cost the leader its term.
-	if g.ring.Len() >= g.cfg.QueueCapacity-g.cfg.QueueCapacity/4 || !g.ring.TryPut(in) {
+	if g.ring.Len() >= g.cfg.RingCapacity-g.cfg.RingCapacity/4 || !g.ring.TryPut(in) {
 		return answer{}, failf(in.op, KindBusy, "%d inputs wait", g.ring.Len())
 	}
 	select {
--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -155,7 +155,7 @@
 func (c *cluster) start(m raft.Member, disk *memory) *Group[*memory, plain] {
 	cfg := Config{
 		Raft:         raft.Config{ElectionTimeout: 200, HeartbeatInterval: 40, MaxAppendBytes: 4096, ChunkBytes: 200, Seed: 7},
-		TickInterval: 10, QueueCapacity: 256, MaxPending: 200, SnapshotEntries: 20, RetryDelay: 50, Send: c.links.send,
+		TickInterval: 10, RingCapacity: 256, MaxPending: 200, SnapshotEntries: 20, RetryDelay: 50, Send: c.links.send,
 	}
 	g, err := New(cfg, disk.stored, disk, plain{}, c.fake.Clock())
 	assert.NilError(c.t, err)
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -39,8 +39,8 @@
 	// TickInterval is the time between two looks at the clock; at most half of the
 	// heartbeat interval.
 	TickInterval clock.Millis
-	// QueueCapacity is the number of inputs that may wait.
-	QueueCapacity int
+	// RingCapacity is the number of inputs that may wait.
+	RingCapacity int
 	// MaxPending is the number of proposals that may wait for their commit,
 	// and of reads that may wait for their confirmation.
 	MaxPending int
@@ -158,7 +158,7 @@
 // New returns the duty for a member with the given stored state. The error is
 // of kind disk or corrupt.
 func New[S Storage, C Codec](cfg Config, stored raft.StoredState, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
-	cfg.QueueCapacity = max(cfg.QueueCapacity, 16)
+	cfg.RingCapacity = max(cfg.RingCapacity, 16)
 	cfg.MaxPending = max(cfg.MaxPending, 1)
 	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
 	cfg.TickInterval = min(max(cfg.TickInterval, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
@@ -168,7 +168,7 @@
 	}
 	g := &Group[S, C]{
 		cfg: cfg, clock: clk, storage: storage, codec: codec,
-		ring:    ring.New[input](cfg.QueueCapacity),
+		ring:    ring.New[input](cfg.RingCapacity),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 		state:   fleet.New(),
@@ -207,13 +207,13 @@
 	defer close(g.done)
 	defer g.abandon()
 	tick := g.clock.After(g.cfg.TickInterval)
-	batch := make([]input, 0, g.cfg.QueueCapacity)
+	batch := make([]input, 0, g.cfg.RingCapacity)
 	for g.terminalErr == nil {
 		select {
 		case <-g.stop:
 			return nil
 		case in := <-g.ring.C():
-			batch = g.ring.Drain(append(batch[:0], in), g.cfg.QueueCapacity)
+			batch = g.ring.Drain(append(batch[:0], in), g.cfg.RingCapacity)
 			for _, in := range batch {
 				g.take(in)
 			}
@@ -236,7 +236,7 @@
 // abandon answers everyone who still waits.
 func (g *Group[S, C]) abandon() {
 	g.failWaiting("the member stopped")
-	for _, in := range g.ring.Drain(nil, g.cfg.QueueCapacity) {
+	for _, in := range g.ring.Drain(nil, g.cfg.RingCapacity) {
 		in.answer(answer{err: failf(in.op, KindStopped, "the member stopped")})
 	}
 }
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -118,7 +118,7 @@
 			MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
 			Seed: h.Sum64() + uint64(f.c.clock.Now()),
 		},
-		TickInterval: consensusTick, QueueCapacity: consensusRing, MaxPending: maxWaiting,
+		TickInterval: consensusTick, RingCapacity: consensusRing, MaxPending: maxWaiting,
 		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetry,
 		Send: f.c.senders.Send, Observe: f.observe,
 	}
