--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -59,7 +59,7 @@
 // place is a reserved slot: of the own share, or of a loan when that is set.
 type place struct {
 	held route.Held
-	loan *lend.Held
+	loan *lend.HeldLoan
 }
 
 // flight is a granted request.
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -22,8 +22,8 @@
 	failMost = 3
 )
 
-// Held is a loan that this process uses.
-type Held struct {
+// HeldLoan is a loan that this process uses.
+type HeldLoan struct {
 	Loan
 	Lender model.Process
 	// Until is the time from which no request starts.
@@ -47,13 +47,13 @@
 
 // Name names the connections of the loan. They are apart from those of the
 // own share and of other loans, so that they can be closed with the loan.
-func (h *Held) Name() string {
+func (h *HeldLoan) Name() string {
 	return string(h.Instance) + "#" + strconv.FormatUint(uint64(h.ID), 16)
 }
 
 // purse is what a process borrows in one pool.
 type purse struct {
-	loans []*Held
+	loans []*HeldLoan
 	// pending is the number of slots asked for and not answered.
 	pending int
 	// since is the begin of the pressure; 0 without.
@@ -80,7 +80,7 @@
 
 // Take reserves a slot of a held loan; ok is false when none has room. A loan
 // of the instance to avoid is not taken.
-func (l *Ledger[P]) Take(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *Held, ok bool) {
+func (l *Ledger[P]) Take(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *HeldLoan, ok bool) {
 	s := l.pools[p]
 	if s == nil {
 		return nil, false
@@ -101,7 +101,7 @@
 
 // Put gives a slot back. failed says that the upstream failed, and unreached
 // that no connection could be opened.
-func (l *Ledger[P]) Put(now clock.Millis, h *Held, failed, unreached bool) {
+func (l *Ledger[P]) Put(now clock.Millis, h *HeldLoan, failed, unreached bool) {
 	h.Running--
 	h.used = now
 	if !failed && !unreached {
@@ -131,7 +131,7 @@
 }
 
 // Each calls f for every loan held.
-func (l *Ledger[P]) Each(f func(*Held)) {
+func (l *Ledger[P]) Each(f func(*HeldLoan)) {
 	for _, h := range l.held {
 		f(h)
 	}
@@ -200,7 +200,7 @@
 	if void {
 		to.faulty = now + refusedFor
 		// It stands for the loans that may have been granted.
-		l.hold(&Held{
+		l.hold(&HeldLoan{
 			Loan: Loan{ID: askID(o.Ask.Number), Pool: o.Ask.Pool}, Lender: o.To, ended: true,
 			forget: now + l.cfg.Lease + l.cfg.Hold,
 		})
@@ -212,7 +212,7 @@
 	}
 	for _, loan := range a.Loans {
 		l.Counts.Taken++
-		l.hold(&Held{
+		l.hold(&HeldLoan{
 			Loan: loan, Lender: o.To, Until: end, used: now, lenderRun: a.Incarnation,
 			forget: now + a.Lease + l.cfg.Hold,
 		})
@@ -237,7 +237,7 @@
 	}
 }
 
-func (l *Ledger[P]) hold(h *Held) {
+func (l *Ledger[P]) hold(h *HeldLoan) {
 	l.held[h.ID] = h
 	if h.Slots == 0 {
 		return
@@ -248,7 +248,7 @@
 }
 
 // drop forgets a loan that was returned, or that the lender has given up.
-func (l *Ledger[P]) drop(h *Held) {
+func (l *Ledger[P]) drop(h *HeldLoan) {
 	delete(l.held, h.ID)
 	s := l.purse(h.Pool)
 	if i := slices.Index(s.loans, h); i >= 0 {
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -38,7 +38,7 @@
 	unheard    map[model.Process]clock.Millis
 	quarantine clock.Millis
 
-	held   map[ID]*Held
+	held   map[ID]*HeldLoan
 	pools  map[model.Pool]*purse
 	number uint64
 	// lenders is the state of other processes as lenders.
@@ -52,7 +52,7 @@
 		given: map[key]given{}, lent: map[model.InstanceID]int{},
 		starved: map[starving]clock.Millis{},
 		unheard: map[model.Process]clock.Millis{},
-		held:    map[ID]*Held{}, pools: map[model.Pool]*purse{},
+		held:    map[ID]*HeldLoan{}, pools: map[model.Pool]*purse{},
 		lenders: map[model.Process]*lender{},
 	}
 	for _, m := range cfg.Entries {
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -29,7 +29,7 @@
 // run is a request in flight.
 type run struct {
 	held route.Held
-	loan *lend.Held
+	loan *lend.HeldLoan
 	id   model.InstanceID
 	ends clock.Millis
 }
