--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -90,7 +90,7 @@
 	borrowing map[model.Pool]bool
 	// rolled is the time of the last Roll of the router.
 	rolled clock.Millis
-	needs  []lend.Need
+	needs  []lend.PoolDemand
 	orders []lend.Message
 	stocks []lend.UpstreamSlots
 	table  model.Table
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -56,10 +56,10 @@
 	}, Idle{}, 0)
 }
 
-var need = []Need{{Pool: "p", Zones: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
+var need = []PoolDemand{{Pool: "p", Zones: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
 
 // plan returns the one order other than recalls.
-func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []Need) Message {
+func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []PoolDemand) Message {
 	t.Helper()
 	var due []Message
 	for _, o := range l.Plan(now, needs, nil) {
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -10,7 +10,7 @@
 // Plan appends the messages that are due: asks for the pools in need, each once,
 // renewals, returns and recalls. At most one ask or return is under way to a
 // process.
-func (l *Ledger[P]) Plan(now clock.Millis, needs []Need, buf []Message) []Message {
+func (l *Ledger[P]) Plan(now clock.Millis, needs []PoolDemand, buf []Message) []Message {
 	if !l.On() {
 		return buf
 	}
@@ -19,7 +19,7 @@
 	buf = l.returns(now, buf)
 	buf = l.renewals(now, buf)
 	for p, s := range l.pools {
-		if !slices.ContainsFunc(needs, func(n Need) bool { return n.Pool == p }) {
+		if !slices.ContainsFunc(needs, func(n PoolDemand) bool { return n.Pool == p }) {
 			s.since = 0
 		}
 	}
@@ -131,7 +131,7 @@
 }
 
 // ask asks one lender for what the pool needs beyond the asks under way.
-func (l *Ledger[P]) ask(now clock.Millis, n Need, buf []Message) []Message {
+func (l *Ledger[P]) ask(now clock.Millis, n PoolDemand, buf []Message) []Message {
 	s := l.purse(n.Pool)
 	if s.since == 0 {
 		s.since = now
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -128,8 +128,8 @@
 	Lent, Held int64
 }
 
-// Need is a pool with waiters that may run.
-type Need struct {
+// PoolDemand is a pool with waiters that may run.
+type PoolDemand struct {
 	Pool model.Pool
 	Pressure
 	// Zones counts the serving instances of the pool in each zone.
