--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -69,7 +69,7 @@
 }
 
 // See tells the board what the entry processes say about an instance.
-func (b *Board[P, J]) See(id model.InstanceID, s maint.Observation) { b.board.SetSeen(id, s) }
+func (b *Board[P, J]) See(id model.InstanceID, s maint.Observation) { b.board.SetObservation(id, s) }
 
 // Feel tells the board what a customer's callers feel, in permille.
 func (b *Board[P, J]) Feel(c model.Customer, permille int) { b.board.SetPressure(c, permille) }
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -134,21 +134,21 @@
 			s := w.seen[id]
 			s.Calls++
 			w.seen[id] = s
-			board.SetSeen(id, s)
+			board.SetObservation(id, s)
 		}
 		for _, lost := range []bool{false, true} {
 			if lost {
 				down = ids[k*11%len(ids)]
 			}
 			w.lose(down, lost)
-			board.SetSeen(down, w.seen[down])
+			board.SetObservation(down, w.seen[down])
 		}
 		w.outages = w.outages[:0]
 		for _, s := range board.Pass(w.now).Steps {
 			w.do(s)
 			board.SetInstance(w.inst[s.Instance])
 			w.advance()
-			board.SetSeen(s.Instance, w.seen[s.Instance])
+			board.SetObservation(s.Instance, w.seen[s.Instance])
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
--- a/core/state/maint/board.go
+++ b/core/state/maint/board.go
@@ -111,7 +111,7 @@
 		b.SetInstance(i)
 	}
 	for id, s := range in.Observations {
-		b.SetSeen(id, s)
+		b.SetObservation(id, s)
 	}
 	for _, o := range in.Outages {
 		b.SetOutage(o)
@@ -133,8 +133,8 @@
 	b.inPool[i.Pool][i.ID] = it
 }
 
-// SetSeen tells the board what is known of an instance.
-func (b *Planner[P, J]) SetSeen(id model.InstanceID, s Observation) {
+// SetObservation tells the board what is known of an instance.
+func (b *Planner[P, J]) SetObservation(id model.InstanceID, s Observation) {
 	it := b.item(id)
 	calls, failures := s.Calls-it.seen.Calls, s.Failures-it.seen.Failures
 	same := it.seen
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -85,7 +85,7 @@
 		}
 		if w.told.Observations[id] != w.seen[id] {
 			w.told.Observations[id] = w.seen[id]
-			b.SetSeen(id, w.seen[id])
+			b.SetObservation(id, w.seen[id])
 		}
 	}
 	for _, o := range w.outages {
