--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -159,7 +159,7 @@
 // how many of 20 waves with healthy instances stopped for no reason.
 func BenchmarkJudge(b *testing.B) {
 	judged(b, "never", NeverStop{})
-	judged(b, "ratio", RatioTest{Factor: 3, Least: 8})
+	judged(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
 	judged(b, "score", ZTest{Z: 4, Least: 3})
 }
 
--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -36,15 +36,15 @@
 // RatioTest stops when the touched fail Factor times as often as their peers.
 type RatioTest struct {
 	Factor float64
-	// Least is the number of failures below which nothing is concluded.
-	Least int64
+	// MinFailures is the number of failures below which nothing is concluded.
+	MinFailures int64
 }
 
 // Stop compares requests first and whole instances then.
 func (j RatioTest) Stop(t, p Tally) string {
 	// One failure is added to the peers: few of them, and none with a failure,
 	// are left at the end of a wave.
-	if p.Calls > 0 && t.Failures >= j.Least && rate(t.Failures, t.Calls) > j.Factor*rate(p.Failures+1, p.Calls) {
+	if p.Calls > 0 && t.Failures >= j.MinFailures && rate(t.Failures, t.Calls) > j.Factor*rate(p.Failures+1, p.Calls) {
 		return explain("requests", t.Failures, t.Calls, p.Failures, p.Calls)
 	}
 	if p.Instances > 0 && t.Failed >= 1 && rate(t.Failed, t.Instances) > j.Factor*rate(p.Failed+1, p.Instances) {
