--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -35,7 +35,7 @@
 				w := newWorld(seed, 50, 3, 5, 5, covers, most)
 				w.phase = clock.Millis(seed) * 12 * clock.Minute
 				m := w.declare(8 * clock.Hour)
-				board := NewPlanner(p, ZTest{Z: 4, Least: 3}, quick())
+				board := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, quick())
 				board.Load(w.input())
 				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
 					out := w.peak()
@@ -119,7 +119,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	board := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, set)
+	board := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, set)
 	board.Load(w.input())
 	board.Pass(w.now)
 	runtime.GC()
@@ -160,7 +160,7 @@
 func BenchmarkJudge(b *testing.B) {
 	judged(b, "never", NeverStop{})
 	judged(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
-	judged(b, "score", ZTest{Z: 4, Least: 3})
+	judged(b, "score", ZTest{Z: 4, MinFailures: 3})
 }
 
 func judged[J StopPolicy](b *testing.B, name string, j J) {
--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -57,16 +57,16 @@
 // standard errors, so that few calls conclude little and many conclude more.
 type ZTest struct {
 	Z float64
-	// Least is the number of failed requests below which nothing is
+	// MinFailures is the number of failed requests below which nothing is
 	// concluded: one failure among the first eight requests of a canary is
 	// many standard errors away from its peers and still chance.
-	Least int64
+	MinFailures int64
 }
 
 // Stop compares requests first and whole instances then. A single failed
 // instance among healthy peers is enough only when the wave touched few.
 func (j ZTest) Stop(t, p Tally) string {
-	if t.Failures >= j.Least && score(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
+	if t.Failures >= j.MinFailures && score(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
 		return explain("requests", t.Failures, t.Calls, p.Failures, p.Calls)
 	}
 	if score(t.Failed, t.Instances, p.Failed, p.Instances) > j.Z {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -108,11 +108,11 @@
 		m = w.decls[0]
 		switch rapid.IntRange(0, 2).Draw(t, "pacer") {
 		case 0:
-			run(t, w, FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
 		case 1:
-			run(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
 		default:
-			run(t, w, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
 		}
 		if left := w.unfinished(m); left > 0 || w.late[m.Name] > 0 || len(w.violations) > 0 {
 			t.Fatalf("%d left, reported late at %d, %v", left, w.late[m.Name], w.violations)
@@ -127,7 +127,7 @@
 		w := newWorld(7, 30, 3, 3, 3, model.DomainRack, 4)
 		w.bad = bad
 		m := w.declare(clock.Day)
-		run(t, w, FullSpeedPacer{}, ZTest{Z: 4, Least: 3}, quick(), w.now+6*clock.Hour, nil)
+		run(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, quick(), w.now+6*clock.Hour, nil)
 		assert.Equal(t, w.stopped, bad)
 		if bad {
 			assert.Equal(t, w.unfinished(m), 29, "only the canary is touched")
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -131,7 +131,7 @@
 		},
 	})
 	board := mover.NewBoard(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
-		maint.ZTest{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
+		maint.ZTest{Z: stopScore, MinFailures: stopLeast}, waveSettings(cfg.Maintenance))
 	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{ExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
 		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
