--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -24,14 +24,14 @@
 // StopPolicy is the policy that stops a wave when the instances it touched fail
 // more than their untouched peers. The reason is empty while it goes on.
 type StopPolicy interface {
-	Stop(touched, peers Tally) (reason string)
+	StopReason(touched, peers Tally) (reason string)
 }
 
 // NeverStop is the baseline: it stops nothing.
 type NeverStop struct{}
 
-// Stop returns no reason.
-func (NeverStop) Stop(Tally, Tally) string { return "" }
+// StopReason returns no reason.
+func (NeverStop) StopReason(Tally, Tally) string { return "" }
 
 // RatioTest stops when the touched fail Factor times as often as their peers.
 type RatioTest struct {
@@ -40,8 +40,8 @@
 	MinFailures int64
 }
 
-// Stop compares requests first and whole instances then.
-func (j RatioTest) Stop(t, p Tally) string {
+// StopReason compares requests first and whole instances then.
+func (j RatioTest) StopReason(t, p Tally) string {
 	// One failure is added to the peers: few of them, and none with a failure,
 	// are left at the end of a wave.
 	if p.Calls > 0 && t.Failures >= j.MinFailures && rate(t.Failures, t.Calls) > j.Factor*rate(p.Failures+1, p.Calls) {
@@ -63,9 +63,9 @@
 	MinFailures int64
 }
 
-// Stop compares requests first and whole instances then. A single failed
+// StopReason compares requests first and whole instances then. A single failed
 // instance among healthy peers is enough only when the wave touched few.
-func (j ZTest) Stop(t, p Tally) string {
+func (j ZTest) StopReason(t, p Tally) string {
 	if t.Failures >= j.MinFailures && score(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
 		return explain("requests", t.Failures, t.Calls, p.Failures, p.Calls)
 	}
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -33,7 +33,7 @@
 		w := b.waves[name]
 		reason := ""
 		if w.touched.Instances > 0 {
-			reason = b.judge.Stop(w.touched, w.peers)
+			reason = b.judge.StopReason(w.touched, w.peers)
 		}
 		if (reason == "") != (w.stop == "") {
 			b.touchWave(w)
