--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -26,7 +26,7 @@
 		d.refuse(a, d.refusal(why, r.Pool))
 		return
 	}
-	d.felt.customer(r.Customer).Asks++
+	d.felt.customer(r.Customer).Requests++
 	if r.Deadline <= now {
 		d.refuse(a, d.refusal(admit.ReasonDeadline, r.Pool))
 		return
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -12,7 +12,7 @@
 // CustomerLoad counts the requests of one customer.
 type CustomerLoad struct {
 	Customer Customer
-	Asks     int64
+	Requests int64
 	// Suffered counts those that were refused for lack of capacity or time, or
 	// whose outcome is unknown; at most Asks. Refusals by a limit of the
 	// contract do not count.
