--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -38,7 +38,7 @@
 // for.
 func (t *tally) refused(c model.Customer, p model.Pool, k RefusalKind) {
 	if k == RefusalCapacity || k == RefusalDeadline {
-		t.customer(c).Suffered++
+		t.customer(c).Impaired++
 		t.turned[p]++
 	}
 }
@@ -53,7 +53,7 @@
 	i.Calls++
 	switch o {
 	case route.OutcomeUnknown, route.OutcomeTimeout:
-		t.customer(c).Suffered++
+		t.customer(c).Impaired++
 		i.Failures++
 	case route.OutcomeError, route.OutcomeConnect:
 		i.Failures++
--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -34,7 +34,7 @@
 func (f *feeling) add(x model.LoadReport) {
 	for _, c := range x.Customers {
 		n := f.customers[c.Customer]
-		f.customers[c.Customer] = count{n.all + float64(c.Requests), n.bad + float64(c.Suffered)}
+		f.customers[c.Customer] = count{n.all + float64(c.Requests), n.bad + float64(c.Impaired)}
 	}
 	for _, i := range x.Instances {
 		n := f.instances[i.Instance]
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -13,10 +13,10 @@
 type CustomerLoad struct {
 	Customer Customer
 	Requests int64
-	// Suffered counts those that were refused for lack of capacity or time, or
+	// Impaired counts those that were refused for lack of capacity or time, or
 	// whose outcome is unknown; at most Asks. Refusals by a limit of the
 	// contract do not count.
-	Suffered int64
+	Impaired int64
 }
 
 // InstanceTally counts the requests that one instance ran.
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -209,7 +209,7 @@
 		})
 	}
 	for _, c := range r.Felt.Customers {
-		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Requests, Suffered: c.Suffered})
+		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Requests, Suffered: c.Impaired})
 	}
 	for _, i := range r.Felt.Instances {
 		w.Tallies = append(w.Tallies, &wirepb.InstanceTally{Instance: string(i.Instance), Calls: i.Calls, Failures: i.Failures})
@@ -241,7 +241,7 @@
 	}
 	for _, c := range w.GetCustomers() {
 		r.Felt.Customers = append(r.Felt.Customers, model.CustomerLoad{
-			Customer: model.Customer(c.GetCustomer()), Requests: c.GetAsks(), Suffered: c.GetSuffered(),
+			Customer: model.Customer(c.GetCustomer()), Requests: c.GetAsks(), Impaired: c.GetSuffered(),
 		})
 	}
 	for _, i := range w.GetTallies() {
