--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -54,7 +54,7 @@
 		if o.Config.Version > s.Config.Version {
 			s.Config = *o.Config
 		}
-	case OpWave:
+	case OpDeclareWave:
 		s.declare(o.Wave)
 	case OpOrdered:
 		if w := s.Waves[o.WaveNumber]; w != nil {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -322,8 +322,8 @@
 	OpEnd
 	// OpConfig puts Config in force.
 	OpConfig
-	// OpWave declares Wave.
-	OpWave
+	// OpDeclareWave declares Wave.
+	OpDeclareWave
 	// OpOrdered notes that the maintenance of Machine in wave Number may have
 	// been ordered.
 	OpOrdered
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -64,7 +64,7 @@
 	w.DeclaredAt = max(now, b.State.Time)
 	w.Deadline += w.DeclaredAt
 	w.MaxDown = max(w.MaxDown, 1)
-	b.apply(jobs.Op{Kind: jobs.OpWave, WaveNumber: w.Number, Wave: &w}, now)
+	b.apply(jobs.Op{Kind: jobs.OpDeclareWave, WaveNumber: w.Number, Wave: &w}, now)
 	b.waves[w.Number] = newWave(b.State.Waves[w.Number])
 }
 
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -148,7 +148,7 @@
 	case jobs.OpConfig:
 		c := jobConfigFromWire(w.GetConfig())
 		o.Config = &c
-	case jobs.OpWave:
+	case jobs.OpDeclareWave:
 		o.Wave = waveFromWire(w.GetWave())
 	}
 	return o, nil
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -48,7 +48,7 @@
 			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", MaxAttempts: 2, Advice: jobs.AdvicePolicy{TicketValidity: 4000, BaseLatency: 50, LatencyPerWorker: 3}}},
 			Pools:  []jobs.Pool{{Name: "p", Standby: true, AdmissionControl: true}},
 		}
-	case jobs.OpWave:
+	case jobs.OpDeclareWave:
 		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, DeclaredAt: 5, Deadline: clock.Minute}
 	}
 	return o
