--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -20,7 +20,7 @@
 	// takes its place: most come back from a restart, and each repair costs two
 	// moves.
 	RepairAfter clock.Millis
-	book        *plan.Book
+	book        *plan.FleetIndex
 	contracts   map[model.Customer]model.Contract
 	// lost holds the instances that are lost and not yet given up.
 	lost  map[model.InstanceID]model.Instance
--- a/core/state/plan/book.go
+++ b/core/state/plan/book.go
@@ -2,10 +2,10 @@
 
 import "camphorridge/core/state/model"
 
-// Book keeps the counts that assignments are made from. It is an index over
-// the state: a new Book filled from the same state decides the same. One duty
+// FleetIndex keeps the counts that assignments are made from. It is an index over
+// the state: a new FleetIndex filled from the same state decides the same. One duty
 // owns it.
-type Book struct {
+type FleetIndex struct {
 	contracts []model.Contract
 	instances map[model.InstanceID]entry
 	l         *ledger
@@ -17,13 +17,13 @@
 }
 
 // NewBook returns a book without instances.
-func NewBook(contracts []model.Contract) *Book {
-	return &Book{contracts: contracts, instances: map[model.InstanceID]entry{}, l: newLedger(contracts)}
+func NewBook(contracts []model.Contract) *FleetIndex {
+	return &FleetIndex{contracts: contracts, instances: map[model.InstanceID]entry{}, l: newLedger(contracts)}
 }
 
 // SetInstance tells the book the state of an instance. Lost says that it is
 // out of service without a plan.
-func (b *Book) SetInstance(i model.Instance, lost bool) {
+func (b *FleetIndex) SetInstance(i model.Instance, lost bool) {
 	if old, ok := b.instances[i.ID]; ok {
 		b.l.put(old.inst, old.lost, -1)
 	}
@@ -32,7 +32,7 @@
 }
 
 // SetContracts replaces all contracts and counts anew.
-func (b *Book) SetContracts(contracts []model.Contract) {
+func (b *FleetIndex) SetContracts(contracts []model.Contract) {
 	b.contracts = contracts
 	b.l = newLedger(contracts)
 	b.load(func() {
@@ -42,7 +42,7 @@
 	})
 }
 
-func (b *Book) load(f func()) {
+func (b *FleetIndex) load(f func()) {
 	b.l.bulk = true
 	f()
 	b.l.bulk = false
@@ -66,7 +66,7 @@
 // instances before the spare, and exchanges for a better spread last.
 // Instances that are being released or maintained stay where they are. The
 // book is unchanged afterwards; moves come back through SetInstance.
-func Decide[P Policy](policy P, set Settings, b *Book, extras []Extra) Assignment {
+func Decide[P Policy](policy P, set Settings, b *FleetIndex, extras []Extra) Assignment {
 	d := &draft[P]{policy: policy, set: set, contracts: b.contracts, l: b.l}
 	for _, e := range extras {
 		b.l.require(e.Pool, e.N)
--- a/core/state/plan/fleet_test.go
+++ b/core/state/plan/fleet_test.go
@@ -20,7 +20,7 @@
 	lost      map[model.InstanceID]bool
 	contracts []model.Contract
 	moves     int
-	book      *Book
+	book      *FleetIndex
 }
 
 // newWorld has n instances round-robin over zones and four to a rack. All are
