--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -37,7 +37,7 @@
 
 // Reset forgets everything, for a new term.
 func (c *Capacity[A, S]) Reset() {
-	c.book = plan.NewBook(nil)
+	c.book = plan.NewFleetIndex(nil)
 	c.contracts = map[model.Customer]model.Contract{}
 	c.lost = map[model.InstanceID]model.Instance{}
 	c.last = plan.Assignment{}
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -104,7 +104,7 @@
 			}
 			return
 		}
-		b := NewBook(in.Contracts)
+		b := NewFleetIndex(in.Contracts)
 		for j, i := range in.Instances {
 			i.Pool, i.Target = at[j], at[j]
 			b.SetInstance(i, in.Lost[i.ID])
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -152,7 +152,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	book := NewBook(w.contracts)
+	book := NewFleetIndex(w.contracts)
 	in := w.input()
 	for _, i := range in.Instances {
 		book.SetInstance(i, false)
--- a/core/state/plan/book.go
+++ b/core/state/plan/book.go
@@ -16,8 +16,8 @@
 	lost bool
 }
 
-// NewBook returns a book without instances.
-func NewBook(contracts []model.Contract) *FleetIndex {
+// NewFleetIndex returns a book without instances.
+func NewFleetIndex(contracts []model.Contract) *FleetIndex {
 	return &FleetIndex{contracts: contracts, instances: map[model.InstanceID]entry{}, l: newLedger(contracts)}
 }
 
@@ -53,7 +53,7 @@
 
 // Assign decides from a whole state.
 func Assign[P Policy](policy P, set Settings, in Input) Assignment {
-	b := NewBook(in.Contracts)
+	b := NewFleetIndex(in.Contracts)
 	b.load(func() {
 		for _, i := range in.Instances {
 			b.SetInstance(i, in.Lost[i.ID])
--- a/core/state/plan/fleet_test.go
+++ b/core/state/plan/fleet_test.go
@@ -28,7 +28,7 @@
 func newWorld(seed uint64, n, zones int, contracts []model.Contract) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 2)), state: fleet.New(), lost: map[model.InstanceID]bool{},
-		contracts: contracts, book: NewBook(contracts),
+		contracts: contracts, book: NewFleetIndex(contracts),
 	}
 	for k := range n {
 		zone := fmt.Sprintf("z%02d", k%zones)
