--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -120,7 +120,7 @@
 			x.Waiting += float64(d.Waiting)
 			// A refused request would have kept a slot busy for its run time.
 			lost := float64(d.Refused) * float64(d.TypicalRunTime) / float64(r.gap)
-			x.Now += float64(d.Running+d.Waiting) + lost
+			x.NeededSlots += float64(d.Running+d.Waiting) + lost
 		}
 	}
 	out := make([]plan.Demand, 0, len(order))
@@ -141,7 +141,7 @@
 		d := byPool[h.Pool]
 		busy := 0.0
 		if d != nil {
-			busy = d.Now
+			busy = d.NeededSlots
 		}
 		since(s.high, h.Pool, busy > float64(h.Have*h.Slots), now)
 		since(s.low, h.Pool, busy < float64(h.Promised*h.Slots*s.weights.LowPercent)/100, now)
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -93,7 +93,7 @@
 	if !ok || s.excess(p) > 0 {
 		return 0
 	}
-	left := int(math.Ceil(d.Now * 100 / float64(max(1, s.w.LowPercent)*h.Slots)))
+	left := int(math.Ceil(d.NeededSlots * 100 / float64(max(1, s.w.LowPercent)*h.Slots)))
 	return max(0, min(h.Have, h.Promised)-s.away[p]-max(left, 1))
 }
 
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -44,8 +44,8 @@
 // Demand is what one pool's callers ask for.
 type Demand struct {
 	Pool Pool
-	// Now is the number of slots that would be busy if all were served.
-	Now float64
+	// NeededSlots is the number of slots that would be busy if all were served.
+	NeededSlots float64
 	// ServiceMillis is how long one request takes; at least 1.
 	ServiceMillis clock.Millis
 	// Waiting is the number of requests in queues, and Queue its bound.
@@ -206,7 +206,7 @@
 // excess is the number of slots that demand exceeds what the pool holds by.
 func (s *surge) excess(p Pool) float64 {
 	h := s.hold[p]
-	return s.demand[p].Now - float64(h.Have*h.Slots)
+	return s.demand[p].NeededSlots - float64(h.Have*h.Slots)
 }
 
 func (s *surge) grant(to, from Pool, n int) {
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -43,9 +43,9 @@
 func (r *surgeRun) ask(k, promised int, low int) {
 	d := &r.demand[k]
 	mean := 0.3 * float64(promised*8)
-	d.Now = mean / 20
+	d.NeededSlots = mean / 20
 	if at := (r.now + clock.Millis(5-k)*12*clock.Second) % clock.Minute; at < r.length[k] {
-		d.Now = 5 * mean
+		d.NeededSlots = 5 * mean
 	}
 	since := func(t *clock.Millis, on bool) {
 		if !on {
@@ -54,8 +54,8 @@
 			*t = r.now
 		}
 	}
-	since(&d.HighSince, d.Now > float64(r.serving[k]*8))
-	since(&d.LowSince, d.Now < float64(promised*8*low)/100)
+	since(&d.HighSince, d.NeededSlots > float64(r.serving[k]*8))
+	since(&d.LowSince, d.NeededSlots < float64(promised*8*low)/100)
 }
 
 func (r *surgeRun) holdings() (out []Holding) {
@@ -93,7 +93,7 @@
 			r.breaches++
 		}
 		d := &r.demand[k]
-		arrive := d.Now * 1000 / float64(d.ServiceMillis)
+		arrive := d.NeededSlots * 1000 / float64(d.ServiceMillis)
 		r.requests += arrive
 		d.Waiting = max(0, d.Waiting+arrive-float64(r.serving[k]*8*5))
 		r.refused += max(0, d.Waiting-d.Queue)
@@ -127,7 +127,7 @@
 // a reason that names no cost.
 func TestPreferencesDecide(t *testing.T) {
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
-	demand := Demand{Pool: "p", Now: 96, ServiceMillis: 200, Queue: 2000, HighSince: 1000}
+	demand := Demand{Pool: "p", NeededSlots: 96, ServiceMillis: 200, Queue: 2000, HighSince: 1000}
 	for _, c := range []struct {
 		name   string
 		w      Weights
@@ -145,7 +145,7 @@
 	assert.Equal(t, choices[0].Action, ActionLend)
 	// What is in place stays until demand has been low for long enough.
 	holdings[0].Have, holdings[1].Have = 10, 6
-	demand.Now, demand.HighSince, demand.LowSince = 10, 0, 5000
+	demand.NeededSlots, demand.HighSince, demand.LowSince = 10, 0, 5000
 	choices, extras := Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 6000)
 	assert.Equal(t, choices[0].Action, ActionKeep)
 	assert.DeepEqual(t, extras, []Extra{{Pool: "p", From: "spare", N: 2}})
@@ -165,8 +165,8 @@
 		action Action
 	}{{3, ActionMove}, {60, ActionQueue}} {
 		choices, _ := Surge(Cheapest{}, w, holdings, []Demand{
-			{Pool: "p", Now: 96, ServiceMillis: 200, HighSince: 1000},
-			{Pool: "q", Now: c.busy, ServiceMillis: 200},
+			{Pool: "p", NeededSlots: 96, ServiceMillis: 200, HighSince: 1000},
+			{Pool: "q", NeededSlots: c.busy, ServiceMillis: 200},
 		}, 2000)
 		assert.Equal(t, choices[0].Action, c.action, "%v", choices[0])
 	}
