--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -143,11 +143,11 @@
 		if d != nil {
 			busy = d.NeededSlots
 		}
-		since(s.high, h.Pool, busy > float64(h.Have*h.Slots), now)
+		since(s.high, h.Pool, busy > float64(h.Instances*h.Slots), now)
 		since(s.low, h.Pool, busy < float64(h.Promised*h.Slots*s.weights.LowPercent)/100, now)
 		if d != nil {
 			d.HighSince, d.LowSince = s.high[h.Pool], s.low[h.Pool]
-			d.Queue = float64(h.Have * h.Slots)
+			d.Queue = float64(h.Instances * h.Slots)
 		}
 	}
 }
@@ -191,7 +191,7 @@
 			continue
 		}
 		h := of(p)
-		h.Have++
+		h.Instances++
 		h.Slots = max(h.Slots, i.Slots)
 	}
 	out := make([]plan.Holding, 0, len(byPool))
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -80,7 +80,7 @@
 		// The instances arrive after the peak and help to serve the queue only.
 		n = 0
 	}
-	slots := float64(max(1, (h.Have+n)*h.Slots))
+	slots := float64(max(1, (h.Instances+n)*h.Slots))
 	area += waiting * waiting * service / slots / 2
 	return area*s.w.WaitCost + refused*s.w.RefuseCost
 }
@@ -94,7 +94,7 @@
 		return 0
 	}
 	left := int(math.Ceil(d.NeededSlots * 100 / float64(max(1, s.w.LowPercent)*h.Slots)))
-	return max(0, min(h.Have, h.Promised)-s.away[p]-max(left, 1))
+	return max(0, min(h.Instances, h.Promised)-s.away[p]-max(left, 1))
 }
 
 // risk is the expected cost of a peak at the donor while its instances are
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -62,9 +62,9 @@
 	Pool Pool
 	// Spare names the pool's spare pool; empty for none, and for spare pools.
 	Spare Pool
-	// Have counts the instances that serve the pool and those on their way
+	// Instances counts the instances that serve the pool and those on their way
 	// to it.
-	Have int
+	Instances int
 	// Promised is the sum over contracts; for a spare pool it is the reserve.
 	Promised int
 	// Slots is the number of requests that one instance runs at once; at
@@ -206,7 +206,7 @@
 // excess is the number of slots that demand exceeds what the pool holds by.
 func (s *surge) excess(p Pool) float64 {
 	h := s.hold[p]
-	return s.demand[p].NeededSlots - float64(h.Have*h.Slots)
+	return s.demand[p].NeededSlots - float64(h.Instances*h.Slots)
 }
 
 func (s *surge) grant(to, from Pool, n int) {
@@ -218,20 +218,20 @@
 // been low for long enough or its spare pool has to call them back.
 func (s *surge) keep(p Pool) {
 	h := s.hold[p]
-	extra := h.Have - h.Promised
+	extra := h.Instances - h.Promised
 	if extra <= 0 || s.settled(p) {
 		return
 	}
 	// What pools hold beyond their promise came from the spare as far as the
 	// spare is short, and from donors beyond that.
 	spare := s.hold[h.Spare]
-	lent := max(0, min(extra, spare.Promised-spare.Have-s.away[h.Spare], s.lendable(h.Spare)))
+	lent := max(0, min(extra, spare.Promised-spare.Instances-s.away[h.Spare], s.lendable(h.Spare)))
 	if h.Spare != "" && lent > 0 {
 		s.grant(p, h.Spare, lent)
 		extra -= lent
 	}
 	for _, d := range s.donors(p) {
-		short := s.hold[d].Promised - s.hold[d].Have - s.away[d]
+		short := s.hold[d].Promised - s.hold[d].Instances - s.away[d]
 		if n := min(extra, short); n > 0 && s.excess(d) <= 0 {
 			s.grant(p, d, n)
 			extra -= n
@@ -246,10 +246,10 @@
 	if spare == "" {
 		return 0
 	}
-	n := s.hold[spare].Have - s.w.Keep - s.away[spare]
+	n := s.hold[spare].Instances - s.w.Keep - s.away[spare]
 	for _, h := range s.hold {
 		if h.Spare == spare {
-			n += h.Have - h.Promised
+			n += h.Instances - h.Promised
 		}
 	}
 	return max(0, n)
@@ -259,10 +259,10 @@
 // in it, and those that pools hold beyond their promise while their demand is
 // low.
 func (s *surge) within(spare Pool) int {
-	n := s.hold[spare].Have - s.fresh[spare]
+	n := s.hold[spare].Instances - s.fresh[spare]
 	for p, h := range s.hold {
 		if h.Spare == spare && s.demand[p].LowSince > 0 {
-			n += max(0, h.Have-h.Promised)
+			n += max(0, h.Instances-h.Promised)
 		}
 	}
 	return n
@@ -291,7 +291,7 @@
 // rest describes a pool whose demand fits its slots.
 func (s *surge) rest(p Pool) Choice {
 	c := Choice{Pool: p, Action: ActionNone}
-	extra := s.hold[p].Have - s.hold[p].Promised
+	extra := s.hold[p].Instances - s.hold[p].Promised
 	kept := 0
 	for key, n := range s.extra {
 		if key[0] == p {
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -61,9 +61,9 @@
 func (r *surgeRun) holdings() (out []Holding) {
 	a := r.w.book.l
 	for _, p := range r.w.contracts[0].Pools {
-		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Have: a.have[p.Pool], Promised: p.Instances, Slots: 8})
+		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Instances: a.have[p.Pool], Promised: p.Instances, Slots: 8})
 	}
-	return append(out, Holding{Pool: "spare", Have: a.have["spare"], Promised: r.w.contracts[0].Spare, Slots: 8})
+	return append(out, Holding{Pool: "spare", Instances: a.have["spare"], Promised: r.w.contracts[0].Spare, Slots: 8})
 }
 
 // second lets one second pass: a decision, its moves, and the queues.
@@ -144,7 +144,7 @@
 	choices, _ := Surge(Cheapest{}, BufferFirst(), holdings, []Demand{demand}, 10*clock.Minute)
 	assert.Equal(t, choices[0].Action, ActionLend)
 	// What is in place stays until demand has been low for long enough.
-	holdings[0].Have, holdings[1].Have = 10, 6
+	holdings[0].Instances, holdings[1].Instances = 10, 6
 	demand.NeededSlots, demand.HighSince, demand.LowSince = 10, 0, 5000
 	choices, extras := Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 6000)
 	assert.Equal(t, choices[0].Action, ActionKeep)
