--- a/core/state/plan/book.go
+++ b/core/state/plan/book.go
@@ -69,8 +69,8 @@
 func Decide[P Policy](policy P, set Settings, b *FleetIndex, extras []Extra) Assignment {
 	d := &draft[P]{policy: policy, set: set, contracts: b.contracts, l: b.l}
 	for _, e := range extras {
-		b.l.require(e.Pool, e.N)
-		b.l.require(e.From, -e.N)
+		b.l.require(e.Pool, e.Count)
+		b.l.require(e.From, -e.Count)
 	}
 	for _, p := range d.short(false) {
 		d.fill(p, "holds fewer instances than it needs")
@@ -84,8 +84,8 @@
 	d.gaps()
 	d.undo()
 	for _, e := range extras {
-		b.l.require(e.Pool, -e.N)
-		b.l.require(e.From, e.N)
+		b.l.require(e.Pool, -e.Count)
+		b.l.require(e.From, e.Count)
 	}
 	return d.out
 }
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -15,9 +15,9 @@
 // Extra asks for instances beyond what contracts promise, at the expense of
 // another pool.
 type Extra struct {
-	Pool Pool
-	From Pool
-	N    int
+	Pool  Pool
+	From  Pool
+	Count int
 }
 
 // Pool is short for the name of a pool.
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -184,7 +184,7 @@
 	var extras []Extra
 	for key, n := range s.extra {
 		if n > 0 {
-			extras = append(extras, Extra{Pool: key[0], From: key[1], N: n})
+			extras = append(extras, Extra{Pool: key[0], From: key[1], Count: n})
 		}
 	}
 	slices.SortFunc(extras, func(a, b Extra) int { return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.From, b.From)) })
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -148,7 +148,7 @@
 	demand.NeededSlots, demand.HighSince, demand.LowSince = 10, 0, 5000
 	choices, extras := Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 6000)
 	assert.Equal(t, choices[0].Action, ActionKeep)
-	assert.DeepEqual(t, extras, []Extra{{Pool: "p", From: "spare", N: 2}})
+	assert.DeepEqual(t, extras, []Extra{{Pool: "p", From: "spare", Count: 2}})
 	choices, extras = Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 15000)
 	assert.Equal(t, choices[0].Action, ActionReturn)
 	assert.Equal(t, len(extras), 0)
