--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -143,11 +143,11 @@
 		if d != nil {
 			busy = d.NeededSlots
 		}
-		since(s.high, h.Pool, busy > float64(h.Instances*h.Slots), now)
-		since(s.low, h.Pool, busy < float64(h.Promised*h.Slots*s.weights.LowPercent)/100, now)
+		since(s.high, h.Pool, busy > float64(h.Instances*h.SlotsPerInstance), now)
+		since(s.low, h.Pool, busy < float64(h.Promised*h.SlotsPerInstance*s.weights.LowPercent)/100, now)
 		if d != nil {
 			d.HighSince, d.LowSince = s.high[h.Pool], s.low[h.Pool]
-			d.Queue = float64(h.Instances * h.Slots)
+			d.Queue = float64(h.Instances * h.SlotsPerInstance)
 		}
 	}
 }
@@ -167,7 +167,7 @@
 	of := func(p model.Pool) *plan.Holding {
 		h := byPool[p]
 		if h == nil {
-			h = &plan.Holding{Pool: p, Slots: 1}
+			h = &plan.Holding{Pool: p, SlotsPerInstance: 1}
 			byPool[p] = h
 		}
 		return h
@@ -192,7 +192,7 @@
 		}
 		h := of(p)
 		h.Instances++
-		h.Slots = max(h.Slots, i.Slots)
+		h.SlotsPerInstance = max(h.SlotsPerInstance, i.Slots)
 	}
 	out := make([]plan.Holding, 0, len(byPool))
 	for _, h := range byPool {
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -13,7 +13,7 @@
 	left := s.remaining(p)
 	c.Queue = s.waitCost(p, 0, left)
 	h := s.hold[p]
-	want := int(math.Ceil(s.excess(p) / float64(h.Slots)))
+	want := int(math.Ceil(s.excess(p) / float64(h.SlotsPerInstance)))
 	room := min(s.lendable(h.Spare), s.within(h.Spare))
 	for n := 1; n <= min(want, room); n++ {
 		cost := s.waitCost(p, n, left) + float64(n)*(2*s.w.MoveCost+s.w.BufferCost*s.absence(left))
@@ -75,12 +75,12 @@
 		lead = left
 	}
 	phase(excess, float64(lead)/1000)
-	phase(excess-float64(n*h.Slots), float64(left-lead)/1000)
+	phase(excess-float64(n*h.SlotsPerInstance), float64(left-lead)/1000)
 	if left <= lead {
 		// The instances arrive after the peak and help to serve the queue only.
 		n = 0
 	}
-	slots := float64(max(1, (h.Instances+n)*h.Slots))
+	slots := float64(max(1, (h.Instances+n)*h.SlotsPerInstance))
 	area += waiting * waiting * service / slots / 2
 	return area*s.w.WaitCost + refused*s.w.RefuseCost
 }
@@ -93,7 +93,7 @@
 	if !ok || s.excess(p) > 0 {
 		return 0
 	}
-	left := int(math.Ceil(d.NeededSlots * 100 / float64(max(1, s.w.LowPercent)*h.Slots)))
+	left := int(math.Ceil(d.NeededSlots * 100 / float64(max(1, s.w.LowPercent)*h.SlotsPerInstance)))
 	return max(0, min(h.Instances, h.Promised)-s.away[p]-max(left, 1))
 }
 
@@ -106,7 +106,7 @@
 	}
 	away := s.absence(left) * 1000
 	chance := min(1, away/float64(s.w.PeakEveryMillis))
-	short := float64(n * s.hold[p].Slots)
+	short := float64(n * s.hold[p].SlotsPerInstance)
 	service := float64(max(s.demand[p].ServiceMillis, 1)) / 1000
 	peak := float64(s.w.PeakMillis) / 1000
 	return chance * s.w.WaitCost * short / service * peak * peak / 2
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -67,9 +67,9 @@
 	Instances int
 	// Promised is the sum over contracts; for a spare pool it is the reserve.
 	Promised int
-	// Slots is the number of requests that one instance runs at once; at
+	// SlotsPerInstance is the number of requests that one instance runs at once; at
 	// least 1.
-	Slots int
+	SlotsPerInstance int
 }
 
 // Action is what to do about a surge.
@@ -206,7 +206,7 @@
 // excess is the number of slots that demand exceeds what the pool holds by.
 func (s *surge) excess(p Pool) float64 {
 	h := s.hold[p]
-	return s.demand[p].NeededSlots - float64(h.Instances*h.Slots)
+	return s.demand[p].NeededSlots - float64(h.Instances*h.SlotsPerInstance)
 }
 
 func (s *surge) grant(to, from Pool, n int) {
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -61,9 +61,9 @@
 func (r *surgeRun) holdings() (out []Holding) {
 	a := r.w.book.l
 	for _, p := range r.w.contracts[0].Pools {
-		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Instances: a.have[p.Pool], Promised: p.Instances, Slots: 8})
+		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Instances: a.have[p.Pool], Promised: p.Instances, SlotsPerInstance: 8})
 	}
-	return append(out, Holding{Pool: "spare", Instances: a.have["spare"], Promised: r.w.contracts[0].Spare, Slots: 8})
+	return append(out, Holding{Pool: "spare", Instances: a.have["spare"], Promised: r.w.contracts[0].Spare, SlotsPerInstance: 8})
 }
 
 // second lets one second pass: a decision, its moves, and the queues.
