--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -147,7 +147,7 @@
 		since(s.low, h.Pool, busy < float64(h.Promised*h.SlotsPerInstance*s.weights.LowPercent)/100, now)
 		if d != nil {
 			d.HighSince, d.LowSince = s.high[h.Pool], s.low[h.Pool]
-			d.Queue = float64(h.Instances * h.SlotsPerInstance)
+			d.QueueLimit = float64(h.Instances * h.SlotsPerInstance)
 		}
 	}
 }
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -62,9 +62,9 @@
 			return
 		}
 		end := max(0, waiting+excess/service*seconds)
-		if over := end - d.Queue; d.Queue > 0 && over > 0 {
+		if over := end - d.QueueLimit; d.QueueLimit > 0 && over > 0 {
 			refused += over
-			end = d.Queue
+			end = d.QueueLimit
 		}
 		area += (waiting + end) / 2 * seconds
 		waiting = end
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -49,8 +49,8 @@
 	// ServiceMillis is how long one request takes; at least 1.
 	ServiceMillis clock.Millis
 	// Waiting is the number of requests in queues, and Queue its bound.
-	Waiting float64
-	Queue   float64
+	Waiting    float64
+	QueueLimit float64
 	// HighSince is when demand rose above the pool's slots; 0 while it is not
 	// above. LowSince is when it fell below LowPercent; 0 likewise.
 	HighSince clock.Millis
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -31,7 +31,7 @@
 	r.w.finish()
 	r.w.moves = 0
 	for k := range r.demand {
-		r.demand[k] = Demand{Pool: Pool(fmt.Sprintf("p%d", k)), ServiceMillis: 200, Queue: 2000}
+		r.demand[k] = Demand{Pool: Pool(fmt.Sprintf("p%d", k)), ServiceMillis: 200, QueueLimit: 2000}
 		r.length[k] = clock.Millis(5+r.w.rnd.IntN(15)) * clock.Second
 	}
 	return r
@@ -96,8 +96,8 @@
 		arrive := d.NeededSlots * 1000 / float64(d.ServiceMillis)
 		r.requests += arrive
 		d.Waiting = max(0, d.Waiting+arrive-float64(r.serving[k]*8*5))
-		r.refused += max(0, d.Waiting-d.Queue)
-		d.Waiting = min(d.Waiting, d.Queue)
+		r.refused += max(0, d.Waiting-d.QueueLimit)
+		d.Waiting = min(d.Waiting, d.QueueLimit)
 		r.waited += d.Waiting
 	}
 }
@@ -127,7 +127,7 @@
 // a reason that names no cost.
 func TestPreferencesDecide(t *testing.T) {
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
-	demand := Demand{Pool: "p", NeededSlots: 96, ServiceMillis: 200, Queue: 2000, HighSince: 1000}
+	demand := Demand{Pool: "p", NeededSlots: 96, ServiceMillis: 200, QueueLimit: 2000, HighSince: 1000}
 	for _, c := range []struct {
 		name   string
 		w      Weights
