--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -82,7 +82,7 @@
 	// drained and serving are copies of the state for other goroutines.
 	drained atomic.Uint64
 	serving atomic.Bool
-	gate    *admit.Gate[P, *ask]
+	gate    *admit.Controller[P, *ask]
 	router  *route.Router[Q]
 	roster  *member.Roster
 	loans   *lend.Ledger[L]
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -48,7 +48,7 @@
 // world runs a gate against a pool with a number of slots and keeps its own
 // account of who runs and waits.
 type world struct {
-	g       *Gate[Fair, int]
+	g       *Controller[Fair, int]
 	slots   int
 	running map[model.Customer]int
 	lines   []*Line[int]
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -58,9 +58,9 @@
 	waitMargin = 0.125
 )
 
-// Gate decides who runs. R is the caller's reference for a waiting request.
+// Controller decides who runs. R is the caller's reference for a waiting request.
 // It is not safe for use by several goroutines.
-type Gate[P Picker, R any] struct {
+type Controller[P Picker, R any] struct {
 	picker    P
 	customers map[model.Customer]*Account[R]
 	pools     map[model.Pool]*hall[R]
@@ -124,8 +124,8 @@
 }
 
 // New returns a gate without customers.
-func New[P Picker, R any](picker P) *Gate[P, R] {
-	return &Gate[P, R]{
+func New[P Picker, R any](picker P) *Controller[P, R] {
+	return &Controller[P, R]{
 		picker:    picker,
 		customers: map[model.Customer]*Account[R]{},
 		pools:     map[model.Pool]*hall[R]{},
@@ -134,7 +134,7 @@
 
 // SetCustomer puts the share of a customer in force. Lines of pools that the
 // contract no longer covers are removed, and their waiters returned.
-func (g *Gate[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
+func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
 		a = &Account[R]{Customer: name, lines: map[model.Pool]*Line[R]{}}
@@ -165,7 +165,7 @@
 }
 
 // RemoveCustomer forgets a customer and returns its waiters.
-func (g *Gate[P, R]) RemoveCustomer(name model.Customer) []R {
+func (g *Controller[P, R]) RemoveCustomer(name model.Customer) []R {
 	a := g.customers[name]
 	if a == nil {
 		return nil
@@ -180,13 +180,13 @@
 }
 
 // forget drops an account whose contract ended and that has nothing in flight.
-func (g *Gate[P, R]) forget(a *Account[R]) {
+func (g *Controller[P, R]) forget(a *Account[R]) {
 	if a.removed && a.Running == 0 {
 		delete(g.customers, a.Customer)
 	}
 }
 
-func (g *Gate[P, R]) hall(p model.Pool) *hall[R] {
+func (g *Controller[P, R]) hall(p model.Pool) *hall[R] {
 	h := g.pools[p]
 	if h == nil {
 		h = &hall[R]{}
@@ -197,7 +197,7 @@
 
 // Line finds the line of a customer in a pool, or the reason why the request
 // can never run in this process.
-func (g *Gate[P, R]) Line(c model.Customer, p model.Pool) (*Line[R], Reason) {
+func (g *Controller[P, R]) Line(c model.Customer, p model.Pool) (*Line[R], Reason) {
 	a := g.customers[c]
 	if a == nil || a.removed {
 		return nil, ReasonContract
@@ -213,10 +213,10 @@
 }
 
 // Account returns the state of a customer; nil when it is not known.
-func (g *Gate[P, R]) Account(c model.Customer) *Account[R] { return g.customers[c] }
+func (g *Controller[P, R]) Account(c model.Customer) *Account[R] { return g.customers[c] }
 
 // Each calls f for every customer.
-func (g *Gate[P, R]) Each(f func(*Account[R])) {
+func (g *Controller[P, R]) Each(f func(*Account[R])) {
 	for _, a := range g.customers {
 		f(a)
 	}
@@ -233,13 +233,13 @@
 }
 
 // Start counts a request that runs without having waited.
-func (g *Gate[P, R]) Start(l *Line[R]) {
+func (g *Controller[P, R]) Start(l *Line[R]) {
 	l.Account.Running++
 	l.start()
 }
 
 // End counts the end of a request. A run time below 0 is not learnt from.
-func (g *Gate[P, R]) End(l *Line[R], elapsed clock.Millis) {
+func (g *Controller[P, R]) End(l *Line[R], elapsed clock.Millis) {
 	l.Account.Running--
 	g.forget(l.Account)
 	if elapsed >= 0 {
@@ -248,7 +248,7 @@
 }
 
 // Typical is the smoothed run time of a pool; 0 when it is not known.
-func (g *Gate[P, R]) Typical(p model.Pool) clock.Millis {
+func (g *Controller[P, R]) Typical(p model.Pool) clock.Millis {
 	if h := g.pools[p]; h != nil {
 		return clock.Millis(h.typical)
 	}
@@ -258,7 +258,7 @@
 // Join queues a request. slots is the number of requests that the pool runs
 // at once. The request is refused when the customer's queue is full, or when
 // the expected wait and run time reach beyond the deadline.
-func (g *Gate[P, R]) Join(now, deadline clock.Millis, l *Line[R], slots int, ref R) (*Waiter[R], Reason) {
+func (g *Controller[P, R]) Join(now, deadline clock.Millis, l *Line[R], slots int, ref R) (*Waiter[R], Reason) {
 	if l.Account.Waiting >= l.Account.Limit.Queue {
 		return nil, ReasonQueue
 	}
@@ -274,7 +274,7 @@
 }
 
 // Waits reports whether a pool has a waiter whose customer may run now.
-func (g *Gate[P, R]) Waits(p model.Pool) bool {
+func (g *Controller[P, R]) Waits(p model.Pool) bool {
 	h := g.pools[p]
 	if h == nil {
 		return false
@@ -288,7 +288,7 @@
 }
 
 // Runnable is the number of waiters of a pool whose customers may run now.
-func (g *Gate[P, R]) Runnable(p model.Pool) int {
+func (g *Controller[P, R]) Runnable(p model.Pool) int {
 	h := g.pools[p]
 	if h == nil {
 		return 0
@@ -303,7 +303,7 @@
 // Next takes the waiter out of a pool that runs next, and counts it as
 // running. Waiters that can no longer end in time are appended to late. It
 // returns nil when none may run.
-func (g *Gate[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
+func (g *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
 	h := g.pools[p]
 	if h == nil {
 		return nil, late
@@ -328,7 +328,7 @@
 }
 
 // Expire removes the waiters whose deadline passed and appends them to late.
-func (g *Gate[P, R]) Expire(now clock.Millis, late []R) []R {
+func (g *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
 	for _, h := range g.pools {
 		for i := len(h.active) - 1; i >= 0; i-- {
 			late = h.active[i].expire(now, late)
@@ -338,7 +338,7 @@
 }
 
 // Clear removes all waiters of a pool and appends them to out.
-func (g *Gate[P, R]) Clear(p model.Pool, out []R) []R {
+func (g *Controller[P, R]) Clear(p model.Pool, out []R) []R {
 	h := g.pools[p]
 	if h == nil {
 		return out
@@ -350,7 +350,7 @@
 }
 
 // Waiting appends the pools that have waiters to buf.
-func (g *Gate[P, R]) Waiting(buf []model.Pool) []model.Pool {
+func (g *Controller[P, R]) Waiting(buf []model.Pool) []model.Pool {
 	for p, h := range g.pools {
 		if len(h.active) > 0 {
 			buf = append(buf, p)
