--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -252,7 +252,7 @@
 		Counts:  d.counts,
 		Loans:   d.loans.Counts,
 	}
-	d.gate.Each(func(a *admit.Account[*ask]) {
+	d.gate.Each(func(a *admit.CustomerState[*ask]) {
 		s.Customers = append(s.Customers, CustomerStatus{
 			Customer: a.Customer, InFlight: a.Limit.InFlight, Queue: a.Limit.Queue,
 			Running: a.Running, Waiting: a.Waiting, Retries: a.Retries,
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -141,7 +141,7 @@
 			},
 			"": func(t *rapid.T) {
 				waits := 0
-				w.g.Each(func(a *Account[int]) {
+				w.g.Each(func(a *CustomerState[int]) {
 					assert.Equal(t, a.Running, w.running[a.Customer])
 					assert.Assert(t, a.Running <= w.limits[a.Customer].InFlight)
 					assert.Assert(t, a.Waiting <= w.limits[a.Customer].Queue)
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -62,7 +62,7 @@
 // It is not safe for use by several goroutines.
 type Controller[P Picker, R any] struct {
 	picker    P
-	customers map[model.Customer]*Account[R]
+	customers map[model.Customer]*CustomerState[R]
 	pools     map[model.Pool]*hall[R]
 	arrivals  uint64
 	// turns and lines are scratch space for one choice.
@@ -70,8 +70,8 @@
 	lines []*Line[R]
 }
 
-// Account is the state of one customer in this process.
-type Account[R any] struct {
+// CustomerState is the state of one customer in this process.
+type CustomerState[R any] struct {
 	Customer model.Customer
 	Limit    Limit
 	// Running is the number of requests in flight. It stays at or below
@@ -127,7 +127,7 @@
 func New[P Picker, R any](picker P) *Controller[P, R] {
 	return &Controller[P, R]{
 		picker:    picker,
-		customers: map[model.Customer]*Account[R]{},
+		customers: map[model.Customer]*CustomerState[R]{},
 		pools:     map[model.Pool]*hall[R]{},
 	}
 }
@@ -137,7 +137,7 @@
 func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
-		a = &Account[R]{Customer: name, lines: map[model.Pool]*Line[R]{}}
+		a = &CustomerState[R]{Customer: name, lines: map[model.Pool]*Line[R]{}}
 		if share.RetryPercent > 0 {
 			a.Retries = 1
 		}
@@ -180,7 +180,7 @@
 }
 
 // forget drops an account whose contract ended and that has nothing in flight.
-func (g *Controller[P, R]) forget(a *Account[R]) {
+func (g *Controller[P, R]) forget(a *CustomerState[R]) {
 	if a.removed && a.Running == 0 {
 		delete(g.customers, a.Customer)
 	}
@@ -213,10 +213,10 @@
 }
 
 // Account returns the state of a customer; nil when it is not known.
-func (g *Controller[P, R]) Account(c model.Customer) *Account[R] { return g.customers[c] }
+func (g *Controller[P, R]) Account(c model.Customer) *CustomerState[R] { return g.customers[c] }
 
 // Each calls f for every customer.
-func (g *Controller[P, R]) Each(f func(*Account[R])) {
+func (g *Controller[P, R]) Each(f func(*CustomerState[R])) {
 	for _, a := range g.customers {
 		f(a)
 	}
@@ -224,7 +224,7 @@
 
 // EachWaiting calls f for every pool with the number of the customer's queued
 // requests, where there are any.
-func (a *Account[R]) EachWaiting(f func(p model.Pool, n int)) {
+func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
 	for p, l := range a.lines {
 		if l.length > 0 {
 			f(p, l.length)
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -7,7 +7,7 @@
 
 // Line is the queue of one customer in one pool, first come, first served.
 type Line[R any] struct {
-	Account *Account[R]
+	Account *CustomerState[R]
 	Pool    model.Pool
 	hall    *hall[R]
 	turn    Turn
--- a/core/state/admit/retry.go
+++ b/core/state/admit/retry.go
@@ -5,12 +5,12 @@
 const retryBurst = 10
 
 // Credit adds the part of a retry that a first try earns.
-func (a *Account[R]) Credit() {
+func (a *CustomerState[R]) Credit() {
 	a.Retries = min(a.Retries+float64(a.Limit.RetryPercent)/100, retryBurst)
 }
 
 // Retry takes one retry from the budget, or reports that it is spent.
-func (a *Account[R]) Retry() bool {
+func (a *CustomerState[R]) Retry() bool {
 	if a.Limit.RetryPercent <= 0 || a.Retries < 1 {
 		return false
 	}
