--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -132,7 +132,7 @@
 	elapsed := m.elapsed
 	if m.outcome == OutcomeUnknown || m.outcome == OutcomeTimeout {
 		d.event(model.Event{
-			Kind: model.EventUnknown, Customer: f.line.Account.Customer, Pool: f.line.Pool,
+			Kind: model.EventUnknown, Customer: f.line.Account.Name, Pool: f.line.Pool,
 			Instance: f.instance(), Request: f.id,
 		})
 	}
@@ -146,7 +146,7 @@
 			m.outcome, elapsed = OutcomeCancelled, -1
 		}
 	}
-	d.felt.ran(f.line.Account.Customer, f.instance(), m.outcome)
+	d.felt.ran(f.line.Account.Name, f.instance(), m.outcome)
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
 	if d.leave(now, f.place, m.outcome) {
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -78,7 +78,7 @@
 		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
 		delete(w.waiting, wt.Ref)
 		w.lines = append(w.lines, wt.Line())
-		w.running[wt.Line().Account.Customer]++
+		w.running[wt.Line().Account.Name]++
 	}
 }
 
@@ -124,7 +124,7 @@
 				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
 				l := w.lines[i]
 				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
-				w.running[l.Account.Customer]--
+				w.running[l.Account.Name]--
 				w.g.End(l, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
 				w.pump(t)
 			},
@@ -142,9 +142,9 @@
 			"": func(t *rapid.T) {
 				waits := 0
 				w.g.Each(func(a *CustomerState[int]) {
-					assert.Equal(t, a.Running, w.running[a.Customer])
-					assert.Assert(t, a.Running <= w.limits[a.Customer].InFlight)
-					assert.Assert(t, a.Waiting <= w.limits[a.Customer].Queue)
+					assert.Equal(t, a.Running, w.running[a.Name])
+					assert.Assert(t, a.Running <= w.limits[a.Name].InFlight)
+					assert.Assert(t, a.Waiting <= w.limits[a.Name].Queue)
 					waits += a.Waiting
 				})
 				assert.Equal(t, waits, len(w.waiting))
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -72,8 +72,8 @@
 
 // CustomerState is the state of one customer in this process.
 type CustomerState[R any] struct {
-	Customer model.Customer
-	Limit    Limit
+	Name  model.Customer
+	Limit Limit
 	// Running is the number of requests in flight. It stays at or below
 	// Limit.InFlight except after a contract was reduced.
 	Running int
@@ -137,7 +137,7 @@
 func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
-		a = &CustomerState[R]{Customer: name, lines: map[model.Pool]*Line[R]{}}
+		a = &CustomerState[R]{Name: name, lines: map[model.Pool]*Line[R]{}}
 		if share.RetryPercent > 0 {
 			a.Retries = 1
 		}
@@ -182,7 +182,7 @@
 // forget drops an account whose contract ended and that has nothing in flight.
 func (g *Controller[P, R]) forget(a *CustomerState[R]) {
 	if a.removed && a.Running == 0 {
-		delete(g.customers, a.Customer)
+		delete(g.customers, a.Name)
 	}
 }
 
