--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -56,7 +56,7 @@
 		}
 	case OpDeclareWave:
 		s.declare(o.Wave)
-	case OpOrdered:
+	case OpMaintenanceOrdered:
 		if w := s.Waves[o.WaveNumber]; w != nil {
 			w.Ordered[o.Machine] = true
 		}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -324,9 +324,9 @@
 	OpConfig
 	// OpDeclareWave declares Wave.
 	OpDeclareWave
-	// OpOrdered notes that the maintenance of Machine in wave Number may have
+	// OpMaintenanceOrdered notes that the maintenance of Machine in wave Number may have
 	// been ordered.
-	OpOrdered
+	OpMaintenanceOrdered
 	// OpBegun notes that the maintenance of Machine in wave Number has begun.
 	OpBegun
 )
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -275,7 +275,7 @@
 func (b *Board[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
 	v.repeated[m] = v.Ordered[m]
 	if !v.Ordered[m] {
-		b.apply(jobs.Op{Kind: jobs.OpOrdered, WaveNumber: v.Number, Machine: m}, now)
+		b.apply(jobs.Op{Kind: jobs.OpMaintenanceOrdered, WaveNumber: v.Number, Machine: m}, now)
 	}
 	a := absence{from: now}
 	if w != nil {
