--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -60,7 +60,7 @@
 		if w := s.Waves[o.WaveNumber]; w != nil {
 			w.Ordered[o.Machine] = true
 		}
-	case OpBegun:
+	case OpMaintenanceStarted:
 		if w := s.Waves[o.WaveNumber]; w != nil {
 			w.Started[o.Machine] = true
 		}
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -87,7 +87,7 @@
 		task := Task{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
 		s.Apply([]Op{submitted("a", Step{TaskCount: 3}), {Kind: OpDeclareWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
 		c := s.Clone()
-		c.Apply([]Op{assigned(task, 1), ended(task, 1, ResultDone), {Kind: OpBegun, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
+		c.Apply([]Op{assigned(task, 1), ended(task, 1, ResultDone), {Kind: OpMaintenanceStarted, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
 		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
 		assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 		assert.Equal(t, len(s.Waves[1].Started), 0)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -327,8 +327,8 @@
 	// OpMaintenanceOrdered notes that the maintenance of Machine in wave Number may have
 	// been ordered.
 	OpMaintenanceOrdered
-	// OpBegun notes that the maintenance of Machine in wave Number has begun.
-	OpBegun
+	// OpMaintenanceStarted notes that the maintenance of Machine in wave Number has begun.
+	OpMaintenanceStarted
 )
 
 // Op is one operation. The fields that belong to Kind are set.
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -359,13 +359,13 @@
 	b.noteFleet(DecisionMaintained, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
 	switch out.Answer {
 	case AnswerDone:
-		b.apply(jobs.Op{Kind: jobs.OpBegun, WaveNumber: o.Wave, Machine: o.Machine}, now)
+		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
 		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
 		if w := b.machines[o.Machine]; w != nil && w.life == v.away[o.Machine].life && !v.repeated[o.Machine] {
 			b.remove(w, "its machine is maintained", now)
 		}
 	case AnswerNever:
-		b.apply(jobs.Op{Kind: jobs.OpBegun, WaveNumber: o.Wave, Machine: o.Machine}, now)
+		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
 		delete(v.away, o.Machine)
 		if w := b.machines[o.Machine]; w != nil {
 			w.held, w.leaving = false, false
@@ -399,7 +399,7 @@
 			if v.Started[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
 				continue
 			}
-			b.apply(jobs.Op{Kind: jobs.OpBegun, WaveNumber: v.Number, Machine: m}, now)
+			b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: v.Number, Machine: m}, now)
 			delete(v.away, m)
 			b.noteFleet(DecisionNoMachine, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
 		}
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -127,7 +127,7 @@
 // OpFromWire maps an operation on submitted work; the part that its kind calls
 // for is required.
 func OpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
-	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpBegun) {
+	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpMaintenanceStarted) {
 		return jobs.Op{}, jobError(KindRange, "operation of kind %d", w.GetKind())
 	}
 	if w.GetHow() < 0 || w.GetHow() > int32(jobs.ResultLost) {
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -32,7 +32,7 @@
 // anyOp generates an operation on submitted work.
 func anyOp(t *rapid.T) jobs.Op {
 	o := jobs.Op{
-		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpBegun)).Draw(t, "op")),
+		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpMaintenanceStarted)).Draw(t, "op")),
 		Task: jobs.Task{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
 		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Incarnation: 7,
 		Result: jobs.Result(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
