--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -113,7 +113,7 @@
 
 type leave struct {
 	worker jobs.WorkerID
-	life   jobs.Life
+	life   jobs.Incarnation
 }
 
 type acted struct {
@@ -225,7 +225,7 @@
 }
 
 // Leave takes note of a worker that ended by itself.
-func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Life) bool {
+func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Incarnation) bool {
 	return r.in.TryPut(input{leave: &leave{worker: id, life: life}})
 }
 
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -53,9 +53,9 @@
 	return s.MilliCores <= room.MilliCores && s.MemoryMiB <= room.MemoryMiB && s.Accelerators <= room.Accelerators
 }
 
-// Life tells the lives of a worker with one name apart: the Unix millisecond
+// Incarnation tells the lives of a worker with one name apart: the Unix millisecond
 // of its start. A later life knows nothing of an earlier one.
-type Life int64
+type Incarnation int64
 
 // Task names one task of a job.
 type Task struct {
@@ -201,7 +201,7 @@
 	Failures int
 	// Worker and Life are set in PhaseAssigned.
 	Worker      WorkerID
-	Incarnation Life
+	Incarnation Incarnation
 	// Checkpoint is the latest checkpoint; empty for none.
 	Checkpoint string
 }
@@ -337,7 +337,7 @@
 	Task        Task
 	Run         int
 	Worker      WorkerID
-	Incarnation Life
+	Incarnation Incarnation
 	Result      Result
 	Checkpoint  string
 	WaveNumber  int
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -22,7 +22,7 @@
 
 // opinion is what the advice service said of a worker for a step.
 type opinion struct {
-	life jobs.Life
+	life jobs.Incarnation
 	// ticket is empty for a worker that may not run the step.
 	ticket string
 	until  clock.Millis
@@ -42,7 +42,7 @@
 	// asking is the step of the question on its way, and lives holds the life of
 	// each worker that it names; nil for none.
 	asking groupKey
-	lives  map[jobs.WorkerID]jobs.Life
+	lives  map[jobs.WorkerID]jobs.Incarnation
 	asked  clock.Millis
 	// counts says how many of a queue's answers were good.
 	counts map[jobs.QueueName]adviceCount
@@ -105,7 +105,7 @@
 	if len(open) == 0 {
 		return
 	}
-	lives := map[jobs.WorkerID]jobs.Life{}
+	lives := map[jobs.WorkerID]jobs.Incarnation{}
 	names := make([]jobs.WorkerID, 0, len(open))
 	for _, w := range open[:min(len(open), b.question(g, open[0]))] {
 		lives[w.id] = w.life
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -93,7 +93,7 @@
 	two.TaskCount, two.MaxPerWorker = 2, 1
 	for _, c := range []struct {
 		name string
-		life jobs.Life
+		life jobs.Incarnation
 		then func(r *rig, first Orders)
 	}{
 		{"run out", 1, func(r *rig, first Orders) {
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -24,7 +24,7 @@
 	machines map[jobs.MachineID]*worker
 	// ended holds the latest life of each worker that was taken off the board;
 	// heartbeats of it that come late are not taken.
-	ended map[jobs.WorkerID]jobs.Life
+	ended map[jobs.WorkerID]jobs.Incarnation
 	// failedOn holds the worker that a task failed on last.
 	failedOn map[jobs.Task]jobs.WorkerID
 	pools    map[jobs.PoolName]*pool
@@ -84,7 +84,7 @@
 // worker is one life of a worker.
 type worker struct {
 	id       jobs.WorkerID
-	life     jobs.Life
+	life     jobs.Incarnation
 	machine  jobs.MachineID
 	pool     jobs.PoolName
 	zone     string
@@ -169,7 +169,7 @@
 		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
-		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
+		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Incarnation{}, failedOn: map[jobs.Task]jobs.WorkerID{},
 		advice: newAdvice(),
 	}
 	b.readConfig()
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -93,7 +93,7 @@
 
 // hear passes a heartbeat of a worker with 16 processors, which runs what is
 // given.
-func (r *rig) hear(id string, life jobs.Life, running []Running, ends ...End) {
+func (r *rig) hear(id string, life jobs.Incarnation, running []Running, ends ...End) {
 	r.seq++
 	r.Beat(Beat{
 		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -57,7 +57,7 @@
 type move struct {
 	to jobs.PoolName
 	// life is that of the machine's worker at the order; 0 for none.
-	life jobs.Life
+	life jobs.Incarnation
 	at   clock.Millis
 }
 
@@ -422,7 +422,7 @@
 	return false
 }
 
-func (b *Board[O, J]) move(m jobs.MachineID, life jobs.Life, to *demand, now clock.Millis) {
+func (b *Board[O, J]) move(m jobs.MachineID, life jobs.Incarnation, to *demand, now clock.Millis) {
 	to.have++
 	b.fleet.moves[m] = move{to: to.name, life: life, at: now}
 	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -80,7 +80,7 @@
 // Beat is a heartbeat of a worker.
 type Beat struct {
 	Worker      jobs.WorkerID
-	Incarnation jobs.Life
+	Incarnation jobs.Incarnation
 	Machine     jobs.MachineID
 	Pool        jobs.PoolName
 	Zone        string
@@ -128,7 +128,7 @@
 // Orders answer a heartbeat.
 type Orders struct {
 	Worker jobs.WorkerID
-	Life   jobs.Life
+	Life   jobs.Incarnation
 	// AckUpTo is the number of the last end that is taken note of.
 	AckUpTo int64
 	Starts  []Start
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -39,7 +39,7 @@
 }
 
 type absence struct {
-	life jobs.Life
+	life jobs.Incarnation
 	// from is when the order was given, or the term began.
 	from clock.Millis
 }
@@ -108,7 +108,7 @@
 
 // stay gives tasks again to a worker whose machine was ordered away and is still
 // there after the time that this takes: the order was not carried out.
-func (b *Board[O, J]) stay(w *worker, life jobs.Life) {
+func (b *Board[O, J]) stay(w *worker, life jobs.Incarnation) {
 	if w != nil && w.life == life && w.leaving {
 		w.leaving = false
 		b.dirty[b.pool(w.pool)] = true
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -34,7 +34,7 @@
 // everything ends with the lease.
 type instance struct {
 	id      jobs.WorkerID
-	life    jobs.Life
+	life    jobs.Incarnation
 	machine jobs.MachineID
 	seq     int64
 	token   uint64
@@ -99,7 +99,7 @@
 	// failed holds the runs that count in fails.
 	failed map[failedRun]bool
 	jobs   int
-	born   jobs.Life
+	born   jobs.Incarnation
 	set    Settings
 	err    error
 	// calm turns all troubles off.
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -135,7 +135,7 @@
 	}
 	o := jobs.Op{
 		Kind: jobs.OpKind(w.GetKind()), Task: taskFromWire(w.GetTask()), Run: int(w.GetRun()),
-		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Life(w.GetLife()), Result: jobs.Result(w.GetHow()),
+		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Result: jobs.Result(w.GetHow()),
 		Checkpoint: string(w.GetSaved()), WaveNumber: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
 	}
 	switch o.Kind {
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -169,7 +169,7 @@
 		if at >= 0 && at < len(tasks) {
 			tasks[at] = jobs.TaskState{
 				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Failures: int(w.GetFails()),
-				Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Life(w.GetLife()), Checkpoint: string(w.GetSaved()),
+				Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Checkpoint: string(w.GetSaved()),
 			}
 			return nil
 		}
