--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -162,7 +162,7 @@
 
 func submit(path string) Call {
 	return Call{Kind: CallSubmit, Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
-		{TaskCount: 2, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
+		{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
 	}}}
 }
 
@@ -170,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	return r.Beat(ctx, sched.Beat{
-		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Capacity: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
+		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 	})
 }
 
--- a/core/state/jobs/size_test.go
+++ b/core/state/jobs/size_test.go
@@ -7,9 +7,9 @@
 	"pgregory.net/rapid"
 )
 
-func sizes(t *rapid.T, name string) Size {
+func sizes(t *rapid.T, name string) Resources {
 	n := rapid.IntRange(-100, 100)
-	return Size{MilliCores: n.Draw(t, name+"-cores"), MemoryMiB: n.Draw(t, name+"-memory"), Accelerators: n.Draw(t, name+"-accelerators")}
+	return Resources{MilliCores: n.Draw(t, name+"-cores"), MemoryMiB: n.Draw(t, name+"-memory"), Accelerators: n.Draw(t, name+"-accelerators")}
 }
 
 // TestSizeArithmetic guards against a resource that is left out of a sum or of
@@ -19,11 +19,11 @@
 		a, b := sizes(t, "a"), sizes(t, "b")
 		assert.Equal(t, a.Plus(b).Minus(b), a)
 		assert.Equal(t, a.Plus(b), b.Plus(a))
-		assert.Equal(t, a.Fits(b), a.Minus(b).Fits(Size{}))
+		assert.Equal(t, a.Fits(b), a.Minus(b).Fits(Resources{}))
 	})
-	for _, one := range []Size{{MilliCores: 1}, {MemoryMiB: 1}, {Accelerators: 1}} {
-		assert.Equal(t, (Size{}).Plus(one), one)
-		assert.Assert(t, !one.Fits(Size{}))
+	for _, one := range []Resources{{MilliCores: 1}, {MemoryMiB: 1}, {Accelerators: 1}} {
+		assert.Equal(t, (Resources{}).Plus(one), one)
+		assert.Assert(t, !one.Fits(Resources{}))
 		assert.Assert(t, one.Fits(one))
 	}
 }
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -23,16 +23,16 @@
 	MaxTasks = 20_000
 )
 
-// Size is an amount of processors, memory and accelerators.
-type Size struct {
+// Resources is an amount of processors, memory and accelerators.
+type Resources struct {
 	MilliCores   int
 	MemoryMiB    int
 	Accelerators int
 }
 
 // Plus adds each resource of o.
-func (s Size) Plus(o Size) Size {
-	return Size{
+func (s Resources) Plus(o Resources) Resources {
+	return Resources{
 		MilliCores:   s.MilliCores + o.MilliCores,
 		MemoryMiB:    s.MemoryMiB + o.MemoryMiB,
 		Accelerators: s.Accelerators + o.Accelerators,
@@ -40,8 +40,8 @@
 }
 
 // Minus takes each resource of o off; the result may be negative.
-func (s Size) Minus(o Size) Size {
-	return Size{
+func (s Resources) Minus(o Resources) Resources {
+	return Resources{
 		MilliCores:   s.MilliCores - o.MilliCores,
 		MemoryMiB:    s.MemoryMiB - o.MemoryMiB,
 		Accelerators: s.Accelerators - o.Accelerators,
@@ -49,7 +49,7 @@
 }
 
 // Fits reports whether room has enough of every resource.
-func (s Size) Fits(room Size) bool {
+func (s Resources) Fits(room Resources) bool {
 	return s.MilliCores <= room.MilliCores && s.MemoryMiB <= room.MemoryMiB && s.Accelerators <= room.Accelerators
 }
 
@@ -121,7 +121,7 @@
 type Step struct {
 	// TaskCount is the number of tasks; at least 1.
 	TaskCount int
-	Resources Size
+	Resources Resources
 	// Estimate is a rough duration of one task.
 	Estimate clock.Millis
 	// DependsOn lists the earlier steps that must be done first.
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -96,7 +96,7 @@
 }
 
 // Quota bounds the resources that a customer's tasks hold at once.
-type Quota = jobs.Size
+type Quota = jobs.Resources
 
 // Phase is the state of an instance's membership in a pool.
 type Phase int
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -25,10 +25,10 @@
 		pool := jobs.PoolName(fmt.Sprint("p", i/70))
 		beats[i] = Beat{
 			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: pool,
-			Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Labels: []string{"a", "r-1"},
+			Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Labels: []string{"a", "r-1"},
 		}
 		b.Submit(jobs.Job{ID: jobs.ID(fmt.Sprint("j", i)), Queue: jobs.QueueName(pool), Pool: pool, MaxAttempts: 3, Target: 1 << 40, Steps: []jobs.Step{
-			{TaskCount: 10, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 60_000},
+			{TaskCount: 10, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 60_000},
 		}}, 1000)
 	}
 	for i := range beats {
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -91,8 +91,8 @@
 	rack     string
 	labels   []string
 	seq      int64
-	room     jobs.Size
-	used     jobs.Size
+	room     jobs.Resources
+	used     jobs.Resources
 	draining bool
 	// known is set once the worker was heard in this term.
 	known bool
@@ -126,7 +126,7 @@
 
 type stray struct {
 	run  int
-	need jobs.Size
+	need jobs.Resources
 }
 
 // waiting is a heartbeat whose answer is held back until due.
@@ -221,7 +221,7 @@
 
 // counted is what a task takes of a worker's room. A filler takes processor
 // time that others leave.
-func counted(s *jobs.Step) jobs.Size {
+func counted(s *jobs.Step) jobs.Resources {
 	n := s.Resources
 	if s.BestEffort {
 		n.MilliCores = 0
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -94,7 +94,7 @@
 }
 
 // seats counts the tasks of a group that fit into room on the worker.
-func (w *worker) seats(room jobs.Size, g *group) int {
+func (w *worker) seats(room jobs.Resources, g *group) int {
 	need, n := counted(g.step), 0
 	most := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
 	for n < most && need.Fits(room) {
@@ -121,7 +121,7 @@
 }
 
 // beside is the worker's room that its lasting tasks leave.
-func (w *worker) beside() jobs.Size {
+func (w *worker) beside() jobs.Resources {
 	room := w.room
 	for _, r := range w.runs {
 		if r.step.LongRunning {
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -10,7 +10,7 @@
 )
 
 // crew is a gang whose tasks take a quarter of a worker each.
-var crew = jobs.Step{TaskCount: 6, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Checkpoints: true}
+var crew = jobs.Step{TaskCount: 6, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Checkpoints: true}
 
 // runningOf lists the runs that a worker was ordered to start.
 func runningOf(o Orders) []Running {
@@ -166,7 +166,7 @@
 func TestImpossibleGangKeepsNoRoom(t *testing.T) {
 	wide := crew
 	wide.TaskCount = 4
-	lasting := jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true}
+	lasting := jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true}
 	for _, c := range []struct {
 		name string
 		rig  *rig
@@ -221,7 +221,7 @@
 				r.seq++
 				r.Beat(Beat{
 					Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
-					Seq: r.seq, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
+					Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 				}, r.now)
 			}
 			if c.busy != "" {
@@ -266,7 +266,7 @@
 	r.seq++
 	r.Beat(Beat{
 		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
-		Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
+		Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 	}, r.now)
 	r.Pass(r.now)
 	c := r.State.Config
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -49,7 +49,7 @@
 		}
 		takes := 300 + clock.Millis(r.IntN(700))
 		step := jobs.Step{
-			TaskCount: 1 + r.IntN(11), Resources: jobs.Size{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
+			TaskCount: 1 + r.IntN(11), Resources: jobs.Resources{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
 			Estimate: takes * clock.Millis(80+r.IntN(40)) / 100,
 		}
 		all = append(all, arrival{at: at, takes: takes, job: jobs.Job{
@@ -178,7 +178,7 @@
 	w.waits = true
 	h := Beat{
 		Worker: w.id, Incarnation: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
-		Capacity: jobs.Size{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
+		Capacity: jobs.Resources{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
 	}
 	for id, r := range w.runs {
 		h.Running = append(h.Running, Running{Task: id, Run: r.run, Percent: 50})
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -20,8 +20,8 @@
 func newPaceRig(t *testing.T) (*rig, []Running) {
 	t.Helper()
 	r := newRig(Defaults())
-	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
-	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
+	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
+	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
 	assert.Equal(t, len(running), 2)
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -70,7 +70,7 @@
 	}
 	b.arrange(p, now)
 	// failed holds the sizes that no present worker had room for.
-	var failed []jobs.Size
+	var failed []jobs.Resources
 	for _, g := range p.groups {
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
 			continue
@@ -86,7 +86,7 @@
 			}
 			continue
 		}
-		if slices.ContainsFunc(failed, func(s jobs.Size) bool { return s.Fits(need) }) {
+		if slices.ContainsFunc(failed, func(s jobs.Resources) bool { return s.Fits(need) }) {
 			continue
 		}
 		for len(g.waiting) > 0 {
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -97,7 +97,7 @@
 	r.seq++
 	r.Beat(Beat{
 		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
-		Seq: r.seq, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
+		Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
 	}, r.now)
 }
 
@@ -125,7 +125,7 @@
 	return out
 }
 
-var small = jobs.Step{TaskCount: 1, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
+var small = jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
 
 // TestLostStartIsRepeated guards against a task that waits forever because the
 // answer that ordered its start was lost.
@@ -164,9 +164,9 @@
 	r.Pass(r.now)
 	r.submit("a", small)
 	r.seq++
-	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 	r.Leave("w1", 0, r.now)
-	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 }
 
 // TestPoisonSetsNoWorkerAside guards against one job that can never be done
@@ -226,7 +226,7 @@
 // count before the platform has answered.
 func TestWaveKeepsAvailability(t *testing.T) {
 	r := newRig(Defaults())
-	step := jobs.Step{TaskCount: 2, Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
+	step := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
 	r.submit("serve", step)
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
@@ -349,7 +349,7 @@
 	p := r.Pass(r.now)
 	assert.Equal(t, len(actions(p, ActionList)), 1)
 	r.Acted(actions(p, ActionList)[0], Outcome{Machines: []Machine{
-		{ID: "s1", Pool: "off", Up: true, Room: jobs.Size{MilliCores: 16_000}},
+		{ID: "s1", Pool: "off", Up: true, Room: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
 		{ID: "m-w1", Pool: "p", Up: true},
@@ -368,7 +368,7 @@
 func TestLastingTasksGetMachines(t *testing.T) {
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
-	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Size{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
 	r.hear("w1", 1, nil)
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -39,7 +39,7 @@
 	moves map[jobs.MachineID]move
 	spent map[jobs.MachineID]clock.Millis
 	// room is the size of a machine by its pool.
-	room jobs.Size
+	room jobs.Resources
 	// listing is set while a list is on its way; listed is when the last came.
 	listing bool
 	// unlisted is set when a reading of the list failed.
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -88,7 +88,7 @@
 	// Seq grows with each heartbeat of a life.
 	Seq int64
 	// Capacity is all that the worker has for tasks.
-	Capacity jobs.Size
+	Capacity jobs.Resources
 	// Draining workers get no new task. Remaining is the least time that is
 	// left to them.
 	Draining  bool
@@ -174,7 +174,7 @@
 	Pool jobs.PoolName
 	// Up is false while the machine moves, is maintained or is down.
 	Up   bool
-	Room jobs.Size
+	Room jobs.Resources
 }
 
 // Outcome is the platform's answer to an action.
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -49,7 +49,7 @@
 	// sent is the time of the heartbeat that waits for its answer; 0 for none.
 	sent clock.Millis
 	next clock.Millis
-	room jobs.Size
+	room jobs.Resources
 	down bool
 	// bad workers fail everything, and stuck ones make no progress.
 	bad, stuck bool
@@ -127,7 +127,7 @@
 	w.born++
 	return &instance{
 		id: jobs.WorkerID(fmt.Sprint("w", n)), life: w.born, machine: jobs.MachineID(fmt.Sprint("m", n)),
-		runs: map[jobs.Task]*simRun{}, closed: map[jobs.Task]int{}, room: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
+		runs: map[jobs.Task]*simRun{}, closed: map[jobs.Task]int{}, room: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 		bad: !w.calm && w.r.IntN(20) == 0, stuck: !w.calm && w.r.IntN(30) == 0,
 	}
 }
@@ -178,16 +178,16 @@
 	j := jobs.Job{
 		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
-			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
-			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
 		},
 	}
 	if w.r.IntN(6) == 0 {
-		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}}
+		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}}
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
-			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
+			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
 			SameRack: w.r.IntN(2) == 0,
 		}
 	}
@@ -329,7 +329,7 @@
 	if r := x.runs[s.Task]; r != nil && r.run == s.Run {
 		return
 	}
-	used := jobs.Size{}
+	used := jobs.Resources{}
 	for t := range x.runs {
 		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -82,7 +82,7 @@
 		SameRack: w.GetSameRack(), RequiredLabel: w.GetLabel(), DataRack: w.GetDataRack(), MaxPerWorker: int(w.GetPerWorker()),
 		Speculative: w.GetCopies(), LongRunning: w.GetLasting(), Image: w.GetImage(), LatencyTarget: clock.Millis(w.GetLatencyMs()),
 		BestEffort: w.GetFiller(), MaxUnavailable: int(w.GetMayMiss()),
-		Resources: jobs.Size{
+		Resources: jobs.Resources{
 			MilliCores: int(w.GetNeed().GetMilliCores()), MemoryMiB: int(w.GetNeed().GetMemoryMib()),
 			Accelerators: int(w.GetNeed().GetAccelerators()),
 		},
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -17,7 +17,7 @@
 	j := jobs.Job{
 		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", MaxAttempts: 2, Target: 3600, StretchPermille: 1600,
 		Steps: []jobs.Step{
-			{TaskCount: 2, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", MaxPerWorker: 1},
+			{TaskCount: 2, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", MaxPerWorker: 1},
 			{TaskCount: 1, DependsOn: []int{0}, Checkpoints: true, LongRunning: rapid.Bool().Draw(t, "lasting"), MaxUnavailable: 1, LatencyTarget: 40},
 		},
 	}
--- a/io/proto/conf/job_test.go
+++ b/io/proto/conf/job_test.go
@@ -43,8 +43,8 @@
 	assert.DeepEqual(t, j, jobs.Job{
 		ID: "nightly-7", Queue: "reports", Spec: "build --all", OccurrenceCount: 2, FirstDue: 1796382000000, Interval: 60_000,
 		Steps: []jobs.Step{
-			{TaskCount: 4, Resources: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1-3", Speculative: true},
-			{TaskCount: 20, Resources: jobs.Size{MilliCores: 2000}, Checkpoints: true, Gang: true, DependsOn: []int{0}},
+			{TaskCount: 4, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1-3", Speculative: true},
+			{TaskCount: 20, Resources: jobs.Resources{MilliCores: 2000}, Checkpoints: true, Gang: true, DependsOn: []int{0}},
 			{TaskCount: 1, DependsOn: []int{0, 1}},
 		},
 	})
