--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -148,7 +148,7 @@
 }
 
 // Task returns the state of a task; nil for one that does not exist.
-func (s *State) Task(t Task) *TaskState {
+func (s *State) Task(t TaskID) *TaskState {
 	r := s.Jobs[t.Job]
 	if r == nil {
 		return nil
@@ -158,7 +158,7 @@
 
 // Task returns the state of a task of the job; nil for one that does not
 // exist.
-func (r *Record) Task(t Task) *TaskState {
+func (r *Record) Task(t TaskID) *TaskState {
 	if t.Occurrence < 0 || t.Occurrence >= len(r.Occurrences) || t.Step < 0 || t.Index < 0 {
 		return nil
 	}
@@ -170,13 +170,13 @@
 }
 
 // Tasks yields the tasks of the job in order.
-func (r *Record) Tasks() iter.Seq2[Task, *TaskState] {
-	return func(yield func(Task, *TaskState) bool) {
+func (r *Record) Tasks() iter.Seq2[TaskID, *TaskState] {
+	return func(yield func(TaskID, *TaskState) bool) {
 		for k := range r.Occurrences {
 			for i := range r.Occurrences[k].Steps {
 				tasks := r.Occurrences[k].Steps[i].Tasks
 				for n := range tasks {
-					if !yield(Task{Job: r.ID, Occurrence: k, Step: i, Index: n}, &tasks[n]) {
+					if !yield(TaskID{Job: r.ID, Occurrence: k, Step: i, Index: n}, &tasks[n]) {
 						return
 					}
 				}
@@ -186,7 +186,7 @@
 }
 
 // stepOf returns the state of a task's step.
-func (r *Record) stepOf(t Task) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
+func (r *Record) stepOf(t TaskID) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
 
 // Failures counts the failed runs of a step; the tasks of a gang fail together.
 func (r *Record) Failures(occurrence, step int) int {
@@ -267,7 +267,7 @@
 
 // done notes a task's good end, and those of its step, occurrence and job with
 // it. The good end of one task of a gang stands for all of them.
-func (s *State) done(r *Record, id Task) {
+func (s *State) done(r *Record, id TaskID) {
 	o := &r.Occurrences[id.Occurrence]
 	st := &o.Steps[id.Step]
 	if r.Steps[id.Step].Gang {
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -13,17 +13,17 @@
 	return Op{Kind: OpSubmit, Job: &Job{ID: id, Queue: "q", Pool: "p", Spec: "s", MaxAttempts: 2, Steps: steps}}
 }
 
-func assigned(t Task, run int) Op {
+func assigned(t TaskID, run int) Op {
 	return Op{Kind: OpAssign, Task: t, Run: run, Worker: "w", Incarnation: 1}
 }
 
-func ended(t Task, run int, how Result) Op {
+func ended(t TaskID, run int, how Result) Op {
 	return Op{Kind: OpEnd, Task: t, Run: run, Result: how, Checkpoint: "c"}
 }
 
 // TestStatus is the table of how operations change a job's status.
 func TestStatus(t *testing.T) {
-	one, two := Task{Job: "a"}, Task{Job: "a", Step: 1}
+	one, two := TaskID{Job: "a"}, TaskID{Job: "a", Step: 1}
 	steps := []Step{{TaskCount: 1}, {TaskCount: 1, DependsOn: []int{0}}}
 	lasting := []Step{{TaskCount: 1, LongRunning: true}}
 	for _, c := range []struct {
@@ -58,7 +58,7 @@
 // TestRunNumbersGrow guards against two starts under one number, which a worker
 // would take for one.
 func TestRunNumbersGrow(t *testing.T) {
-	task := Task{Job: "a"}
+	task := TaskID{Job: "a"}
 	s := New()
 	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), assigned(task, 1), ended(task, 1, ResultLost), assigned(task, 1)}, 1)
 	assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
@@ -71,7 +71,7 @@
 // against one that forgets a job while its submitter may ask for it.
 func TestEndedJobsAreForgotten(t *testing.T) {
 	s := New()
-	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), {Kind: OpCancel, Task: Task{Job: "a"}}}, 1000)
+	s.Apply([]Op{submitted("a", Step{TaskCount: 1}), {Kind: OpCancel, Task: TaskID{Job: "a"}}}, 1000)
 	s.Apply(nil, 1000+Retention-1)
 	assert.Assert(t, s.Jobs["a"] != nil)
 	s.Apply(nil, 1000+Retention)
@@ -84,7 +84,7 @@
 func TestCloneSharesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
-		task := Task{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
+		task := TaskID{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
 		s.Apply([]Op{submitted("a", Step{TaskCount: 3}), {Kind: OpDeclareWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
 		c := s.Clone()
 		c.Apply([]Op{assigned(task, 1), ended(task, 1, ResultDone), {Kind: OpMaintenanceStarted, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -57,8 +57,8 @@
 // of its start. A later life knows nothing of an earlier one.
 type Incarnation int64
 
-// Task names one task of a job.
-type Task struct {
+// TaskID names one task of a job.
+type TaskID struct {
 	Job ID
 	// Occurrence counts the repetitions of a scheduled job from 0.
 	Occurrence int
@@ -334,7 +334,7 @@
 // Op is one operation. The fields that belong to Kind are set.
 type Op struct {
 	Kind        OpKind
-	Task        Task
+	Task        TaskID
 	Run         int
 	Worker      WorkerID
 	Incarnation Incarnation
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -44,7 +44,7 @@
 	p := r.Pass(r.now)
 	a := question(t, p)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
-	assert.DeepEqual(t, a.Step, jobs.Task{Job: "a"})
+	assert.DeepEqual(t, a.Step, jobs.TaskID{Job: "a"})
 	assert.DeepEqual(t, a.Workers, []jobs.WorkerID{"w1", "w2"})
 	r.Acted(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, r.now+30)
 	r.now += 30
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -29,7 +29,7 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, life: h.Incarnation, runs: map[jobs.Task]*run{}, until: h.ReceivedAt + b.longest(), pace: pace{percent: fullPace}}
+		w = &worker{id: h.Worker, life: h.Incarnation, runs: map[jobs.TaskID]*run{}, until: h.ReceivedAt + b.longest(), pace: pace{percent: fullPace}}
 		b.workers[h.Worker] = w
 		b.leases.Push(dueLease{at: w.until, w: w})
 	}
@@ -153,7 +153,7 @@
 }
 
 // follow queues the steps that waited for the step of a task that is done.
-func (b *Board[O, J]) follow(r *jobs.Record, t jobs.Task, now clock.Millis) {
+func (b *Board[O, J]) follow(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
 	st := &r.Occurrences[t.Occurrence].Steps[t.Step]
 	if st.DoneTasks < len(st.Tasks) {
 		return
@@ -163,7 +163,7 @@
 			continue
 		}
 		for n := r.Steps[i].TaskCount - 1; n >= 0; n-- {
-			b.queue(r, jobs.Task{Job: t.Job, Occurrence: t.Occurrence, Step: i, Index: n}, now)
+			b.queue(r, jobs.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: i, Index: n}, now)
 		}
 	}
 }
@@ -206,7 +206,7 @@
 		s.need = counted(&r.Steps[x.Task.Step])
 	}
 	if w.strays == nil {
-		w.strays = map[jobs.Task]stray{}
+		w.strays = map[jobs.TaskID]stray{}
 	}
 	w.strays[x.Task] = s
 	w.used = w.used.Plus(s.need)
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -26,7 +26,7 @@
 	// heartbeats of it that come late are not taken.
 	ended map[jobs.WorkerID]jobs.Incarnation
 	// failedOn holds the worker that a task failed on last.
-	failedOn map[jobs.Task]jobs.WorkerID
+	failedOn map[jobs.TaskID]jobs.WorkerID
 	pools    map[jobs.PoolName]*pool
 	// queues maps the queues in force to their pools.
 	queues map[jobs.QueueName]jobs.PoolName
@@ -98,9 +98,9 @@
 	known bool
 	// until is the end of the longest lease that the worker may have.
 	until clock.Millis
-	runs  map[jobs.Task]*run
+	runs  map[jobs.TaskID]*run
 	// strays are runs that the worker lists and that are not assigned to it.
-	strays map[jobs.Task]stray
+	strays map[jobs.TaskID]stray
 	// beat is set while a heartbeat waits for its answer.
 	beat *waiting
 	// held keeps new tasks off a worker whose machine is to be maintained, and
@@ -143,7 +143,7 @@
 
 // run is a task that is assigned to a worker.
 type run struct {
-	task   jobs.Task
+	task   jobs.TaskID
 	number int
 	rec    *jobs.Record
 	step   *jobs.Step
@@ -169,7 +169,7 @@
 		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
-		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Incarnation{}, failedOn: map[jobs.Task]jobs.WorkerID{},
+		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Incarnation{}, failedOn: map[jobs.TaskID]jobs.WorkerID{},
 		advice: newAdvice(),
 	}
 	b.readConfig()
@@ -191,7 +191,7 @@
 		w := b.workers[t.Worker]
 		if w == nil || w.life < t.Incarnation {
 			w = &worker{
-				id: t.Worker, life: t.Incarnation, pool: r.Pool, runs: map[jobs.Task]*run{},
+				id: t.Worker, life: t.Incarnation, pool: r.Pool, runs: map[jobs.TaskID]*run{},
 				until: now + b.longest(), pace: unknownPace(),
 			}
 			b.workers[t.Worker] = w
@@ -270,7 +270,7 @@
 		return
 	}
 	j.AcceptedAt = max(now, b.State.Time)
-	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.Task{Job: j.ID}, Job: &j}, now)
+	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
 	rec := b.State.Jobs[j.ID]
 	b.enter(rec, now)
 	b.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
@@ -304,7 +304,7 @@
 		return false
 	}
 	if !r.Status.Final() {
-		b.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.Task{Job: id}}, now)
+		b.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
 		b.noteEnd(r, now)
 		b.stopJob(r)
 	}
@@ -321,7 +321,7 @@
 }
 
 // assigned returns the run of an assigned task and its worker; nil for others.
-func (b *Board[O, J]) assigned(id jobs.Task, t *jobs.TaskState) (*worker, *run) {
+func (b *Board[O, J]) assigned(id jobs.TaskID, t *jobs.TaskState) (*worker, *run) {
 	w := b.workers[t.Worker]
 	if t.Phase != jobs.PhaseAssigned || w == nil {
 		return nil, nil
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -58,7 +58,7 @@
 
 // RunReport is a task that is assigned to a worker.
 type RunReport struct {
-	Task     jobs.Task
+	Task     jobs.TaskID
 	Run      int
 	Worker   jobs.WorkerID
 	Percent  int
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -144,7 +144,7 @@
 
 // breakGang stops the other tasks of a gang when one has ended before its work
 // was done: they cannot work without it, and start again all together.
-func (b *Board[O, J]) breakGang(r *jobs.Record, t jobs.Task) {
+func (b *Board[O, J]) breakGang(r *jobs.Record, t jobs.TaskID) {
 	if !r.Steps[t.Step].Gang {
 		return
 	}
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -106,7 +106,7 @@
 	next clock.Millis
 	// waits is set while a heartbeat has no answer.
 	waits  bool
-	runs   map[jobs.Task]loadRun
+	runs   map[jobs.TaskID]loadRun
 	ends   []End
 	number int64
 }
@@ -126,7 +126,7 @@
 	takes := map[jobs.ID]arrival{}
 	var workers []*loadWorker
 	for n := range loadWorkers {
-		workers = append(workers, &loadWorker{id: jobs.WorkerID(fmt.Sprint("w", n)), runs: map[jobs.Task]loadRun{}})
+		workers = append(workers, &loadWorker{id: jobs.WorkerID(fmt.Sprint("w", n)), runs: map[jobs.TaskID]loadRun{}})
 	}
 	left := all
 	for now := clock.Millis(0); now < loadLength+loadPatience; now += loadStep {
@@ -158,13 +158,13 @@
 
 // work ends the tasks whose time has come.
 func (w *loadWorker) work(now clock.Millis) {
-	ids := make([]jobs.Task, 0, len(w.runs))
+	ids := make([]jobs.TaskID, 0, len(w.runs))
 	for id, r := range w.runs {
 		if r.due <= now {
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b jobs.Task) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
+	slices.SortFunc(ids, func(a, b jobs.TaskID) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
 	for _, id := range ids {
 		w.number++
 		w.ends = append(w.ends, End{Number: w.number, Task: id, Run: w.runs[id].run, How: jobs.ResultDone})
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -51,7 +51,7 @@
 // Task.Job alone for one on a job.
 type Note struct {
 	What   Decision
-	Task   jobs.Task
+	Task   jobs.TaskID
 	Run    int
 	Worker jobs.WorkerID
 	Reason string
@@ -67,7 +67,7 @@
 
 // noteJob explains a decision on a whole job.
 func (b *Board[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
-	b.out.Notes = append(b.out.Notes, Note{What: what, Task: jobs.Task{Job: r.ID}, Reason: reason, Failure: failure})
+	b.out.Notes = append(b.out.Notes, Note{What: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Failure: failure})
 }
 
 // noteFleet explains a decision on machines or pools.
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -112,11 +112,11 @@
 }
 
 // keyOf returns the step of a task.
-func keyOf(t jobs.Task) groupKey { return groupKey{t.Job, t.Occurrence, t.Step} }
+func keyOf(t jobs.TaskID) groupKey { return groupKey{t.Job, t.Occurrence, t.Step} }
 
 // task returns a task of the step.
-func (k groupKey) task(index int) jobs.Task {
-	return jobs.Task{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
+func (k groupKey) task(index int) jobs.TaskID {
+	return jobs.TaskID{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
 }
 
 // group is the waiting tasks of one step.
@@ -191,14 +191,14 @@
 		tasks := r.Occurrences[k].Steps[i].Tasks
 		for n := len(tasks) - 1; n >= 0; n-- {
 			if tasks[n].Phase == jobs.PhaseWaiting {
-				b.queue(r, jobs.Task{Job: r.ID, Occurrence: k, Step: i, Index: n}, now)
+				b.queue(r, jobs.TaskID{Job: r.ID, Occurrence: k, Step: i, Index: n}, now)
 			}
 		}
 	}
 }
 
 // queue adds a waiting task.
-func (b *Board[O, J]) queue(r *jobs.Record, t jobs.Task, now clock.Millis) {
+func (b *Board[O, J]) queue(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
 	if r.Status.Final() {
 		return
 	}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -107,7 +107,7 @@
 }
 
 // start assigns a task to a worker; the order is part of the worker's answer.
-func (b *Board[O, J]) start(w *worker, g *group, t jobs.Task, now clock.Millis) {
+func (b *Board[O, J]) start(w *worker, g *group, t jobs.TaskID, now clock.Millis) {
 	state := g.rec.Task(t)
 	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, started: now, moved: now, saved: state.Checkpoint}
 	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Incarnation: w.life}, now)
@@ -123,7 +123,7 @@
 
 // choose picks the worker for a task of a group. roomy tells that a worker had
 // room and was passed over for another reason.
-func (b *Board[O, J]) choose(p *pool, g *group, t jobs.Task, now clock.Millis) (best *worker, roomy bool) {
+func (b *Board[O, J]) choose(p *pool, g *group, t jobs.TaskID, now clock.Millis) (best *worker, roomy bool) {
 	need := counted(g.step)
 	failed := b.failedOn[t]
 	var top score
@@ -282,8 +282,8 @@
 	return max(at, now+1)
 }
 
-func sortedTasks(m map[jobs.Task]*run) []jobs.Task {
-	return slices.SortedFunc(maps.Keys(m), func(a, b jobs.Task) int {
+func sortedTasks(m map[jobs.TaskID]*run) []jobs.TaskID {
+	return slices.SortedFunc(maps.Keys(m), func(a, b jobs.TaskID) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
 			cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 	})
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -55,7 +55,7 @@
 
 // Running is a run that a worker lists.
 type Running struct {
-	Task jobs.Task
+	Task jobs.TaskID
 	Run  int
 	// Saved is the latest checkpoint; empty for none.
 	Saved string
@@ -71,7 +71,7 @@
 type End struct {
 	// Number counts the ends of one life of a worker from 1.
 	Number int64
-	Task   jobs.Task
+	Task   jobs.TaskID
 	Run    int
 	How    jobs.Result
 	Saved  string
@@ -103,7 +103,7 @@
 
 // Start tells a worker to run a task.
 type Start struct {
-	Task  jobs.Task
+	Task  jobs.TaskID
 	Run   int
 	Spec  string
 	Saved string
@@ -114,13 +114,13 @@
 
 // Stop tells a worker to end a run.
 type Stop struct {
-	Task jobs.Task
+	Task jobs.TaskID
 	Run  int
 }
 
 // Rate tells a worker to let a task work at a share of its speed.
 type Rate struct {
-	Task    jobs.Task
+	Task    jobs.TaskID
 	Run     int
 	Percent int
 }
@@ -163,7 +163,7 @@
 	Pool    jobs.PoolName
 	// Step is the first task of the step that Workers are named for, and Takes
 	// how long the answer is expected to take.
-	Step    jobs.Task
+	Step    jobs.TaskID
 	Workers []jobs.WorkerID
 	Takes   clock.Millis
 }
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -39,9 +39,9 @@
 	seq     int64
 	token   uint64
 	until   clock.Millis
-	runs    map[jobs.Task]*simRun
+	runs    map[jobs.TaskID]*simRun
 	// closed holds the highest run that was stopped or has ended, by task.
-	closed map[jobs.Task]int
+	closed map[jobs.TaskID]int
 	ends   []End
 	number int64
 	// taker is the leader that took the heartbeat which waits.
@@ -78,7 +78,7 @@
 
 // failedRun names a run by the task, or the first task of the gang.
 type failedRun struct {
-	task jobs.Task
+	task jobs.TaskID
 	run  int
 }
 
@@ -94,8 +94,8 @@
 	workers []*instance
 	answers []answer
 	// done holds the tasks with a noted good end.
-	done  map[jobs.Task]bool
-	fails map[jobs.Task]int
+	done  map[jobs.TaskID]bool
+	fails map[jobs.TaskID]int
 	// failed holds the runs that count in fails.
 	failed map[failedRun]bool
 	jobs   int
@@ -108,8 +108,8 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
-		r: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.Task]bool{},
-		fails: map[jobs.Task]int{}, failed: map[failedRun]bool{}, born: 1, set: Defaults(),
+		r: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
+		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, born: 1, set: Defaults(),
 	}
 	w.set.SurgeMillis = 0
 	w.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
@@ -127,7 +127,7 @@
 	w.born++
 	return &instance{
 		id: jobs.WorkerID(fmt.Sprint("w", n)), life: w.born, machine: jobs.MachineID(fmt.Sprint("m", n)),
-		runs: map[jobs.Task]*simRun{}, closed: map[jobs.Task]int{}, room: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
+		runs: map[jobs.TaskID]*simRun{}, closed: map[jobs.TaskID]int{}, room: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 		bad: !w.calm && w.r.IntN(20) == 0, stuck: !w.calm && w.r.IntN(30) == 0,
 	}
 }
@@ -265,11 +265,11 @@
 	if step.LongRunning {
 		return
 	}
-	of := []jobs.Task{o.Task}
+	of := []jobs.TaskID{o.Task}
 	if step.Gang {
 		of = of[:0]
 		for n := range step.TaskCount {
-			of = append(of, jobs.Task{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
+			of = append(of, jobs.TaskID{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
 		}
 	}
 	failed := failedRun{of[0], o.Run}
@@ -318,7 +318,7 @@
 	}
 }
 
-func (x *instance) end(t jobs.Task, r *simRun, how jobs.Result) {
+func (x *instance) end(t jobs.TaskID, r *simRun, how jobs.Result) {
 	x.number++
 	x.ends = append(x.ends, End{Number: x.number, Task: t, Run: r.run, How: how, Saved: fmt.Sprint("s", r.run, "-", t.Index)})
 	x.closed[t] = max(x.closed[t], r.run)
@@ -389,7 +389,7 @@
 	}
 }
 
-func gangRun(t jobs.Task, r *simRun) failedRun {
+func gangRun(t jobs.TaskID, r *simRun) failedRun {
 	t.Index = 0
 	return failedRun{t, r.run}
 }
@@ -445,7 +445,7 @@
 }
 
 // endGang ends all tasks of a gang well.
-func (w *world) endGang(of jobs.Task, r *simRun) {
+func (w *world) endGang(of jobs.TaskID, r *simRun) {
 	key := gangRun(of, r)
 	for _, x := range w.workers {
 		for t, y := range x.runs {
@@ -489,7 +489,7 @@
 
 // check looks for tasks that run twice at a time on workers that are up.
 func (w *world) check() {
-	seen := map[jobs.Task]*instance{}
+	seen := map[jobs.TaskID]*instance{}
 	for _, x := range w.workers {
 		for t := range x.runs {
 			if y := seen[t]; y != nil {
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -93,12 +93,12 @@
 	return s
 }
 
-func taskToWire(t jobs.Task) *wirepb.JobTask {
+func taskToWire(t jobs.TaskID) *wirepb.JobTask {
 	return &wirepb.JobTask{Job: text(t.Job), Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
 }
 
-func taskFromWire(w *wirepb.JobTask) jobs.Task {
-	return jobs.Task{
+func taskFromWire(w *wirepb.JobTask) jobs.TaskID {
+	return jobs.TaskID{
 		Job: jobs.ID(w.GetJob()), Occurrence: int(w.GetOccurrence()), Step: int(w.GetStep()), Index: int(w.GetIndex()),
 	}
 }
@@ -109,7 +109,7 @@
 		Kind: int32(o.Kind), Run: int64(o.Run), Worker: text(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
 		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: text(o.Machine),
 	}
-	if o.Task != (jobs.Task{}) {
+	if o.Task != (jobs.TaskID{}) {
 		w.Task = taskToWire(o.Task)
 	}
 	if o.Job != nil {
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -33,7 +33,7 @@
 func anyOp(t *rapid.T) jobs.Op {
 	o := jobs.Op{
 		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpMaintenanceStarted)).Draw(t, "op")),
-		Task: jobs.Task{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
+		Task: jobs.TaskID{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
 		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Incarnation: 7,
 		Result: jobs.Result(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
 		WaveNumber: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -22,12 +22,12 @@
 	l, err := logs.New(&out, logs.Settings{Level: "info", Process: "c1", Zone: "zone-a"}, clock.NewFake(1_796_382_000_123).Clock())
 	assert.NilError(t, err)
 	c := &Control{log: l}
-	task := jobs.Task{Job: "j-1", Occurrence: 1, Step: 2, Index: 3}
+	task := jobs.TaskID{Job: "j-1", Occurrence: 1, Step: 2, Index: 3}
 	c.logNotes([]sched.Note{
-		{What: sched.DecisionAccepted, Task: jobs.Task{Job: "j-1"}, Reason: "queue q at version 3"},
+		{What: sched.DecisionAccepted, Task: jobs.TaskID{Job: "j-1"}, Reason: "queue q at version 3"},
 		{What: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
 		{What: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
-		{What: sched.DecisionFailed, Task: jobs.Task{Job: "j-1"}, Reason: "after 9 ms", Failure: true},
+		{What: sched.DecisionFailed, Task: jobs.TaskID{Job: "j-1"}, Reason: "after 9 ms", Failure: true},
 		{What: sched.DecisionMoved, Reason: "m-1 to p"},
 	})
 	golden.Assert(t, out.String(), "note-lines.txt")
