--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -79,9 +79,9 @@
 	Running int
 	// Waiting is the number of queued requests over all pools.
 	Waiting int
-	// Retries is the number of retries that may be made now; at most
+	// RetryTokens is the number of retries that may be made now; at most
 	// retryBurst.
-	Retries float64
+	RetryTokens float64
 	// removed says that the contract ended while requests were in flight. The
 	// account stays until they end, so that a new contract of the same name
 	// counts them.
@@ -139,7 +139,7 @@
 	if a == nil {
 		a = &CustomerState[R]{Name: name, lines: map[model.Pool]*Line[R]{}}
 		if share.RetryPercent > 0 {
-			a.Retries = 1
+			a.RetryTokens = 1
 		}
 		g.customers[name] = a
 	}
--- a/core/state/admit/retry.go
+++ b/core/state/admit/retry.go
@@ -6,14 +6,14 @@
 
 // Credit adds the part of a retry that a first try earns.
 func (a *CustomerState[R]) Credit() {
-	a.Retries = min(a.Retries+float64(a.Limit.RetryPercent)/100, retryBurst)
+	a.RetryTokens = min(a.RetryTokens+float64(a.Limit.RetryPercent)/100, retryBurst)
 }
 
 // Retry takes one retry from the budget, or reports that it is spent.
 func (a *CustomerState[R]) Retry() bool {
-	if a.Limit.RetryPercent <= 0 || a.Retries < 1 {
+	if a.Limit.RetryPercent <= 0 || a.RetryTokens < 1 {
 		return false
 	}
-	a.Retries--
+	a.RetryTokens--
 	return true
 }
