--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -44,7 +44,7 @@
 }
 
 // spend pays for a retry, or credits the budget for a first try.
-func (d *Dispatcher[P, Q, L]) spend(line *admit.Line[*ask], r *Request) admit.Reason {
+func (d *Dispatcher[P, Q, L]) spend(line *admit.Queue[*ask], r *Request) admit.Reason {
 	if !r.Retry {
 		line.Account.Credit()
 		return admit.ReasonNone
@@ -56,7 +56,7 @@
 	return admit.ReasonNone
 }
 
-func (d *Dispatcher[P, Q, L]) queue(now clock.Millis, a *ask, line *admit.Line[*ask]) {
+func (d *Dispatcher[P, Q, L]) queue(now clock.Millis, a *ask, line *admit.Queue[*ask]) {
 	r := &a.request
 	upstreams, slots := d.router.Routable(r.Pool)
 	switch {
@@ -99,7 +99,7 @@
 	}
 }
 
-func (d *Dispatcher[P, Q, L]) grant(a *ask, line *admit.Line[*ask], at place) {
+func (d *Dispatcher[P, Q, L]) grant(a *ask, line *admit.Queue[*ask], at place) {
 	var n uint32
 	if last := len(d.free) - 1; last >= 0 {
 		n = d.free[last]
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -64,7 +64,7 @@
 
 // flight is a granted request.
 type flight struct {
-	line *admit.Line[*ask]
+	line *admit.Queue[*ask]
 	place
 	id string
 	// number makes the tickets of one place different over time.
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -51,7 +51,7 @@
 	g       *Controller[Fair, int]
 	slots   int
 	running map[model.Customer]int
-	lines   []*Line[int]
+	lines   []*Queue[int]
 	waiting map[int]*Waiter[int]
 	limits  map[model.Customer]Limit
 	next    int
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -67,7 +67,7 @@
 	arrivals  uint64
 	// turns and lines are scratch space for one choice.
 	turns []*Turn
-	lines []*Line[R]
+	lines []*Queue[R]
 }
 
 // CustomerState is the state of one customer in this process.
@@ -86,13 +86,13 @@
 	// account stays until they end, so that a new contract of the same name
 	// counts them.
 	removed bool
-	lines   map[model.Pool]*Line[R]
+	lines   map[model.Pool]*Queue[R]
 }
 
 // hall holds the lines of one pool.
 type hall[R any] struct {
 	// active lists the lines that have waiters.
-	active []*Line[R]
+	active []*Queue[R]
 	// pass is the virtual time of the last start.
 	pass float64
 	// typical is the smoothed run time in milliseconds; 0 without a sample.
@@ -137,7 +137,7 @@
 func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
-		a = &CustomerState[R]{Name: name, lines: map[model.Pool]*Line[R]{}}
+		a = &CustomerState[R]{Name: name, lines: map[model.Pool]*Queue[R]{}}
 		if share.RetryPercent > 0 {
 			a.RetryTokens = 1
 		}
@@ -150,7 +150,7 @@
 	for _, p := range pools {
 		covered[p.Pool] = true
 		if a.lines[p.Pool] == nil {
-			a.lines[p.Pool] = &Line[R]{Account: a, Pool: p.Pool, hall: g.hall(p.Pool)}
+			a.lines[p.Pool] = &Queue[R]{Account: a, Pool: p.Pool, hall: g.hall(p.Pool)}
 		}
 		a.lines[p.Pool].turn.Weight = share.Weight
 	}
@@ -197,7 +197,7 @@
 
 // Line finds the line of a customer in a pool, or the reason why the request
 // can never run in this process.
-func (g *Controller[P, R]) Line(c model.Customer, p model.Pool) (*Line[R], Reason) {
+func (g *Controller[P, R]) Line(c model.Customer, p model.Pool) (*Queue[R], Reason) {
 	a := g.customers[c]
 	if a == nil || a.removed {
 		return nil, ReasonContract
@@ -233,13 +233,13 @@
 }
 
 // Start counts a request that runs without having waited.
-func (g *Controller[P, R]) Start(l *Line[R]) {
+func (g *Controller[P, R]) Start(l *Queue[R]) {
 	l.Account.Running++
 	l.start()
 }
 
 // End counts the end of a request. A run time below 0 is not learnt from.
-func (g *Controller[P, R]) End(l *Line[R], elapsed clock.Millis) {
+func (g *Controller[P, R]) End(l *Queue[R], elapsed clock.Millis) {
 	l.Account.Running--
 	g.forget(l.Account)
 	if elapsed >= 0 {
@@ -258,7 +258,7 @@
 // Join queues a request. slots is the number of requests that the pool runs
 // at once. The request is refused when the customer's queue is full, or when
 // the expected wait and run time reach beyond the deadline.
-func (g *Controller[P, R]) Join(now, deadline clock.Millis, l *Line[R], slots int, ref R) (*Waiter[R], Reason) {
+func (g *Controller[P, R]) Join(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
 	if l.Account.Waiting >= l.Account.Limit.Queue {
 		return nil, ReasonQueue
 	}
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -5,8 +5,8 @@
 	"camphorridge/core/state/model"
 )
 
-// Line is the queue of one customer in one pool, first come, first served.
-type Line[R any] struct {
+// Queue is the queue of one customer in one pool, first come, first served.
+type Queue[R any] struct {
 	Account *CustomerState[R]
 	Pool    model.Pool
 	hall    *hall[R]
@@ -25,23 +25,23 @@
 	Arrived  clock.Millis
 	// number orders the waiters of all lines by arrival.
 	number     uint64
-	line       *Line[R]
+	line       *Queue[R]
 	prev, next *Waiter[R]
 }
 
 // Line returns the line that the waiter stood in.
-func (w *Waiter[R]) Line() *Line[R] { return w.line }
+func (w *Waiter[R]) Line() *Queue[R] { return w.line }
 
 // CanRun reports whether the customer is below its share.
-func (l *Line[R]) CanRun() bool { return l.Account.Running < l.Account.Limit.InFlight }
+func (l *Queue[R]) CanRun() bool { return l.Account.Running < l.Account.Limit.InFlight }
 
 // Len is the number of waiters.
-func (l *Line[R]) Len() int { return l.length }
+func (l *Queue[R]) Len() int { return l.length }
 
 // Wait estimates how long a new waiter of the line waits when the pool runs
 // slots requests at once. The pool's rate is divided between the waiting
 // customers by weight, and a customer's rate is bounded by its share.
-func (l *Line[R]) Wait(slots int) clock.Millis {
+func (l *Queue[R]) Wait(slots int) clock.Millis {
 	if l.hall.typical == 0 || slots <= 0 {
 		return 0
 	}
@@ -57,9 +57,9 @@
 }
 
 // Leave takes a waiter out of its line, for a request that was given up.
-func (l *Line[R]) Leave(w *Waiter[R]) { l.remove(w) }
+func (l *Queue[R]) Leave(w *Waiter[R]) { l.remove(w) }
 
-func (l *Line[R]) push(w *Waiter[R]) {
+func (l *Queue[R]) push(w *Waiter[R]) {
 	w.line = l
 	w.prev = l.last
 	if l.last == nil {
@@ -77,7 +77,7 @@
 	l.Account.Waiting++
 }
 
-func (l *Line[R]) remove(w *Waiter[R]) {
+func (l *Queue[R]) remove(w *Waiter[R]) {
 	if w.prev == nil {
 		l.first = w.next
 	} else {
@@ -104,14 +104,14 @@
 }
 
 // start moves the virtual time of the line on by one request.
-func (l *Line[R]) start() {
+func (l *Queue[R]) start() {
 	l.turn.Pass = max(l.turn.Pass, l.hall.pass)
 	l.hall.pass = l.turn.Pass
 	l.turn.Pass += 1 / float64(l.turn.Weight)
 }
 
 // expire removes the waiters whose deadline is at or before now.
-func (l *Line[R]) expire(now clock.Millis, late []R) []R {
+func (l *Queue[R]) expire(now clock.Millis, late []R) []R {
 	for w := l.first; w != nil; {
 		next := w.next
 		if w.Deadline <= now {
@@ -123,7 +123,7 @@
 	return late
 }
 
-func (l *Line[R]) clear(out []R) []R {
+func (l *Queue[R]) clear(out []R) []R {
 	for l.first != nil {
 		out = append(out, l.first.Ref)
 		l.remove(l.first)
