--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -46,10 +46,10 @@
 // spend pays for a retry, or credits the budget for a first try.
 func (d *Dispatcher[P, Q, L]) spend(line *admit.Queue[*ask], r *Request) admit.Reason {
 	if !r.Retry {
-		line.Account.Credit()
+		line.Customer.Credit()
 		return admit.ReasonNone
 	}
-	if !line.Account.Retry() {
+	if !line.Customer.Retry() {
 		return admit.ReasonRetry
 	}
 	d.counts.Retries++
@@ -132,7 +132,7 @@
 	elapsed := m.elapsed
 	if m.outcome == OutcomeUnknown || m.outcome == OutcomeTimeout {
 		d.event(model.Event{
-			Kind: model.EventUnknown, Customer: f.line.Account.Name, Pool: f.line.Pool,
+			Kind: model.EventUnknown, Customer: f.line.Customer.Name, Pool: f.line.Pool,
 			Instance: f.instance(), Request: f.id,
 		})
 	}
@@ -146,7 +146,7 @@
 			m.outcome, elapsed = OutcomeCancelled, -1
 		}
 	}
-	d.felt.ran(f.line.Account.Name, f.instance(), m.outcome)
+	d.felt.ran(f.line.Customer.Name, f.instance(), m.outcome)
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
 	if d.leave(now, f.place, m.outcome) {
@@ -154,7 +154,7 @@
 		d.event(model.Event{Kind: model.EventEjected, Instance: f.instance(), Pool: f.line.Pool, Limit: "failures"})
 	}
 	d.pump(now, f.line.Pool)
-	if full && f.line.Account.Waiting > 0 {
+	if full && f.line.Customer.Waiting > 0 {
 		// The customer's share held up its waiters in other pools as well.
 		d.pumpAll(now)
 	}
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -78,7 +78,7 @@
 		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
 		delete(w.waiting, wt.Ref)
 		w.lines = append(w.lines, wt.Line())
-		w.running[wt.Line().Account.Name]++
+		w.running[wt.Line().Customer.Name]++
 	}
 }
 
@@ -124,7 +124,7 @@
 				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
 				l := w.lines[i]
 				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
-				w.running[l.Account.Name]--
+				w.running[l.Customer.Name]--
 				w.g.End(l, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
 				w.pump(t)
 			},
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -150,7 +150,7 @@
 	for _, p := range pools {
 		covered[p.Pool] = true
 		if a.lines[p.Pool] == nil {
-			a.lines[p.Pool] = &Queue[R]{Account: a, Pool: p.Pool, hall: g.hall(p.Pool)}
+			a.lines[p.Pool] = &Queue[R]{Customer: a, Pool: p.Pool, hall: g.hall(p.Pool)}
 		}
 		a.lines[p.Pool].turn.Weight = share.Weight
 	}
@@ -234,14 +234,14 @@
 
 // Start counts a request that runs without having waited.
 func (g *Controller[P, R]) Start(l *Queue[R]) {
-	l.Account.Running++
+	l.Customer.Running++
 	l.start()
 }
 
 // End counts the end of a request. A run time below 0 is not learnt from.
 func (g *Controller[P, R]) End(l *Queue[R], elapsed clock.Millis) {
-	l.Account.Running--
-	g.forget(l.Account)
+	l.Customer.Running--
+	g.forget(l.Customer)
 	if elapsed >= 0 {
 		l.hall.learn(float64(elapsed))
 	}
@@ -259,7 +259,7 @@
 // at once. The request is refused when the customer's queue is full, or when
 // the expected wait and run time reach beyond the deadline.
 func (g *Controller[P, R]) Join(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
-	if l.Account.Waiting >= l.Account.Limit.Queue {
+	if l.Customer.Waiting >= l.Customer.Limit.Queue {
 		return nil, ReasonQueue
 	}
 	wait := l.Wait(slots)
@@ -295,7 +295,7 @@
 	}
 	n := 0
 	for _, l := range h.active {
-		n += max(0, min(l.length, l.Account.Limit.InFlight-l.Account.Running))
+		n += max(0, min(l.length, l.Customer.Limit.InFlight-l.Customer.Running))
 	}
 	return n
 }
@@ -322,7 +322,7 @@
 	l := g.lines[g.picker.Pick(g.turns)]
 	w := l.first
 	l.remove(w)
-	l.Account.Running++
+	l.Customer.Running++
 	l.start()
 	return w, late
 }
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -7,13 +7,13 @@
 
 // Queue is the queue of one customer in one pool, first come, first served.
 type Queue[R any] struct {
-	Account *CustomerState[R]
-	Pool    model.Pool
-	hall    *hall[R]
-	turn    Turn
-	first   *Waiter[R]
-	last    *Waiter[R]
-	length  int
+	Customer *CustomerState[R]
+	Pool     model.Pool
+	hall     *hall[R]
+	turn     Turn
+	first    *Waiter[R]
+	last     *Waiter[R]
+	length   int
 	// place is the index in hall.active while length is above 0.
 	place int
 }
@@ -33,7 +33,7 @@
 func (w *Waiter[R]) Line() *Queue[R] { return w.line }
 
 // CanRun reports whether the customer is below its share.
-func (l *Queue[R]) CanRun() bool { return l.Account.Running < l.Account.Limit.InFlight }
+func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.InFlight }
 
 // Len is the number of waiters.
 func (l *Queue[R]) Len() int { return l.length }
@@ -52,7 +52,7 @@
 		}
 	}
 	rate := float64(slots) * float64(l.turn.Weight) / float64(total)
-	rate = min(rate, float64(l.Account.Limit.InFlight))
+	rate = min(rate, float64(l.Customer.Limit.InFlight))
 	return clock.Millis(float64(l.length+1) * l.hall.typical / rate)
 }
 
@@ -74,7 +74,7 @@
 	}
 	l.last = w
 	l.length++
-	l.Account.Waiting++
+	l.Customer.Waiting++
 }
 
 func (l *Queue[R]) remove(w *Waiter[R]) {
@@ -90,7 +90,7 @@
 	}
 	w.prev, w.next = nil, nil
 	l.length--
-	l.Account.Waiting--
+	l.Customer.Waiting--
 	if l.first != nil {
 		l.turn.Head = l.first.number
 		return
