--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -66,7 +66,7 @@
 	pools     map[model.Pool]*hall[R]
 	arrivals  uint64
 	// turns and lines are scratch space for one choice.
-	turns []*Turn
+	turns []*QueueInfo
 	lines []*Queue[R]
 }
 
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -10,7 +10,7 @@
 	Customer *CustomerState[R]
 	Pool     model.Pool
 	hall     *hall[R]
-	turn     Turn
+	turn     QueueInfo
 	first    *Waiter[R]
 	last     *Waiter[R]
 	length   int
--- a/core/state/admit/picker.go
+++ b/core/state/admit/picker.go
@@ -3,11 +3,11 @@
 // Picker chooses the line that runs next. It gets only lines that have a
 // waiter and whose customer is below its share; there is at least one.
 type Picker interface {
-	Pick(lines []*Turn) int
+	Pick(lines []*QueueInfo) int
 }
 
-// Turn is what a picker knows of a customer's line in one pool.
-type Turn struct {
+// QueueInfo is what a picker knows of a customer's line in one pool.
+type QueueInfo struct {
 	// Weight is at least 1.
 	Weight int
 	// Pass is the virtual time of the next start; it only grows while the
@@ -23,7 +23,7 @@
 type Fair struct{}
 
 // Pick returns the index of the line with the lowest Pass.
-func (Fair) Pick(lines []*Turn) int {
+func (Fair) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
 		if t.Pass < lines[best].Pass {
@@ -37,7 +37,7 @@
 type Arrival struct{}
 
 // Pick returns the index of the line whose first waiter came first.
-func (Arrival) Pick(lines []*Turn) int {
+func (Arrival) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
 		if t.Head < lines[best].Head {
