--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -68,7 +68,7 @@
 		l.place = len(l.hall.active)
 		l.hall.active = append(l.hall.active, l)
 		// A line that was idle gets no credit for the time it did not use.
-		l.turn.Pass = max(l.turn.Pass, l.hall.pass)
+		l.turn.VirtualTime = max(l.turn.VirtualTime, l.hall.pass)
 	} else {
 		l.last.next = w
 	}
@@ -105,9 +105,9 @@
 
 // start moves the virtual time of the line on by one request.
 func (l *Queue[R]) start() {
-	l.turn.Pass = max(l.turn.Pass, l.hall.pass)
-	l.hall.pass = l.turn.Pass
-	l.turn.Pass += 1 / float64(l.turn.Weight)
+	l.turn.VirtualTime = max(l.turn.VirtualTime, l.hall.pass)
+	l.hall.pass = l.turn.VirtualTime
+	l.turn.VirtualTime += 1 / float64(l.turn.Weight)
 }
 
 // expire removes the waiters whose deadline is at or before now.
--- a/core/state/admit/picker.go
+++ b/core/state/admit/picker.go
@@ -10,9 +10,9 @@
 type QueueInfo struct {
 	// Weight is at least 1.
 	Weight int
-	// Pass is the virtual time of the next start; it only grows while the
+	// VirtualTime is the virtual time of the next start; it only grows while the
 	// line is in use.
-	Pass float64
+	VirtualTime float64
 	// Head is the arrival number of the first waiter; it grows over all lines.
 	Head uint64
 }
@@ -26,7 +26,7 @@
 func (Fair) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
-		if t.Pass < lines[best].Pass {
+		if t.VirtualTime < lines[best].VirtualTime {
 			best = i
 		}
 	}
