--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -64,7 +64,7 @@
 	w.prev = l.last
 	if l.last == nil {
 		l.first = w
-		l.turn.Head = w.number
+		l.turn.FirstArrival = w.number
 		l.place = len(l.hall.active)
 		l.hall.active = append(l.hall.active, l)
 		// A line that was idle gets no credit for the time it did not use.
@@ -92,7 +92,7 @@
 	l.length--
 	l.Customer.Waiting--
 	if l.first != nil {
-		l.turn.Head = l.first.number
+		l.turn.FirstArrival = l.first.number
 		return
 	}
 	h := l.hall
--- a/core/state/admit/picker.go
+++ b/core/state/admit/picker.go
@@ -13,8 +13,8 @@
 	// VirtualTime is the virtual time of the next start; it only grows while the
 	// line is in use.
 	VirtualTime float64
-	// Head is the arrival number of the first waiter; it grows over all lines.
-	Head uint64
+	// FirstArrival is the arrival number of the first waiter; it grows over all lines.
+	FirstArrival uint64
 }
 
 // Fair picks the line with the lowest virtual time. A start moves the line's
@@ -40,7 +40,7 @@
 func (Arrival) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
-		if t.Head < lines[best].Head {
+		if t.FirstArrival < lines[best].FirstArrival {
 			best = i
 		}
 	}
