--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -17,7 +17,7 @@
 	"gotest.tools/v3/poll"
 )
 
-type dispatcher = Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
+type dispatcher = Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // start runs a dispatcher with a pool svc of two upstreams with the given
 // slots.
@@ -35,7 +35,7 @@
 
 func startWith(t testing.TB, cfg Settings, clk clock.Clock, slots int, contracts ...model.Contract) *dispatcher {
 	t.Helper()
-	d := New(cfg, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	d := New(cfg, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
 	t.Cleanup(func() { d.Stop(); <-ended })
@@ -176,7 +176,7 @@
 
 // Guards against a full ring that blocks callers or is not told.
 func TestFullRingRefuses(t *testing.T) {
-	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
 		assert.Assert(t, d.in.TryPut(message{kind: messageDone}))
 	}
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -23,7 +23,7 @@
 		Lending: lend.Settings{
 			Self: self, Zone: zone, Entries: all, Incarnation: 1, Lease: clock.Minute, Hold: clock.Minute, ReservePercent: 25,
 		},
-	}, clock.Real(), admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
 	t.Cleanup(func() { d.Stop(); <-ended })
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -48,7 +48,7 @@
 // world runs a gate against a pool with a number of slots and keeps its own
 // account of who runs and waits.
 type world struct {
-	g       *Controller[Fair, int]
+	g       *Controller[WeightedFair, int]
 	slots   int
 	running map[model.Customer]int
 	lines   []*Queue[int]
@@ -87,7 +87,7 @@
 func TestGateKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
-			g: New[Fair, int](Fair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
+			g: New[WeightedFair, int](WeightedFair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
 			running: map[model.Customer]int{}, waiting: map[int]*Waiter[int]{}, limits: map[model.Customer]Limit{},
 		}
 		pools := []model.PoolShare{{Pool: "p"}}
@@ -186,7 +186,7 @@
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
-		_, b := share(Fair{}, wa, wb, 1000)
+		_, b := share(WeightedFair{}, wa, wb, 1000)
 		want := 1000 * wb / (wa + wb)
 		assert.Assert(t, b >= want-2 && b <= want+2, "b got %d of 1000, want %d", b, want)
 	})
@@ -197,7 +197,7 @@
 // Guards against waiting for something that cannot come in time, and against
 // refusing what can.
 func TestDeadlineDecidesAtTheDoor(t *testing.T) {
-	g := New[Fair, int](Fair{})
+	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Line("a", "p")
 	g.Start(l)
@@ -218,7 +218,7 @@
 
 // Guards against a few long requests that keep all short ones from waiting.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
-	g := New[Fair, int](Fair{})
+	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Line("a", "p")
 	for k := range 1000 {
@@ -238,7 +238,7 @@
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
-		g := New[Fair, int](Fair{})
+		g := New[WeightedFair, int](WeightedFair{})
 		g.SetCustomer("a", Limit{InFlight: 1, RetryPercent: percent}, nil)
 		a := g.Account("a")
 		tries, retries := 0, 0
@@ -257,7 +257,7 @@
 
 // Guards against forgetting what a removed contract still has in flight.
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
-	g := New[Fair, int](Fair{})
+	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
 	g.SetCustomer("a", Limit{InFlight: 2, Queue: 2}, pools)
 	l, _ := g.Line("a", "p")
--- a/core/state/admit/picker.go
+++ b/core/state/admit/picker.go
@@ -17,13 +17,13 @@
 	FirstArrival uint64
 }
 
-// Fair picks the line with the lowest virtual time. A start moves the line's
+// WeightedFair picks the line with the lowest virtual time. A start moves the line's
 // virtual time on by 1/weight, so busy lines start in proportion to their
 // weights and a flood in one line does not delay the others.
-type Fair struct{}
+type WeightedFair struct{}
 
 // Pick returns the index of the line with the lowest Pass.
-func (Fair) Pick(lines []*QueueInfo) int {
+func (WeightedFair) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
 		if t.VirtualTime < lines[best].VirtualTime {
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -20,7 +20,7 @@
 	"gotest.tools/v3/assert"
 )
 
-type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
+type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // claims is an in-memory Claimer.
 type claims struct {
@@ -86,7 +86,7 @@
 		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
 		Lending: lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, Hold: clock.Minute, ReservePercent: 25},
 		Orders:  ring.New[lend.Message](16),
-	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	g.link = uplink.New(uplink.Defaults(), clk)
 	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
 	ended := make(chan struct{}, 2)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -44,7 +44,7 @@
 const lameDuck = clock.Second
 
 // dispatcher is the dispatcher with the policies of the product.
-type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
+type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // Entry is a running entry process.
 type Entry struct {
@@ -104,7 +104,7 @@
 			Lease: cfg.Lending.LeaseMillis, Hold: cfg.Limits.MaxTimeoutMillis,
 			ReservePercent: cfg.Lending.ReservePercent,
 		},
-	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
 	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.Felt, e.dispatch.Demand, clk)
