--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -190,7 +190,7 @@
 		want := 1000 * wb / (wa + wb)
 		assert.Assert(t, b >= want-2 && b <= want+2, "b got %d of 1000, want %d", b, want)
 	})
-	_, b := share(Arrival{}, 1, 1, 400)
+	_, b := share(FIFO{}, 1, 1, 400)
 	assert.Assert(t, b < 10, "the baseline is expected to starve b, which got %d", b)
 }
 
--- a/core/state/admit/picker.go
+++ b/core/state/admit/picker.go
@@ -33,11 +33,11 @@
 	return best
 }
 
-// Arrival is the baseline: first come, first served over all customers.
-type Arrival struct{}
+// FIFO is the baseline: first come, first served over all customers.
+type FIFO struct{}
 
 // Pick returns the index of the line whose first waiter came first.
-func (Arrival) Pick(lines []*QueueInfo) int {
+func (FIFO) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
 		if t.FirstArrival < lines[best].FirstArrival {
