--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -136,7 +136,7 @@
 	if s.since == 0 {
 		s.since = now
 	}
-	n.Lasting = now - s.since
+	n.Duration = now - s.since
 	want := l.policy.Want(n.Pressure) - s.pending
 	if want <= 0 || len(l.held) >= maxLoans {
 		return buf
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -10,8 +10,8 @@
 	Room int
 	// Typical is the smoothed run time; 0 when it is not known.
 	Typical clock.Millis
-	// Lasting is how long there have been such waiters without a break.
-	Lasting clock.Millis
+	// Duration is how long there have been such waiters without a break.
+	Duration clock.Millis
 }
 
 // UpstreamSlots is the state of an upstream in a process that may lend its slots.
@@ -71,7 +71,7 @@
 
 // Want returns one slot for each waiter that own slots do not start in time.
 func (Idle) Want(p Pressure) int {
-	if p.Room > 0 && p.Lasting < lasting {
+	if p.Room > 0 && p.Duration < lasting {
 		return 0
 	}
 	run := p.Typical
