--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -31,11 +31,11 @@
 		p    Pressure
 		want int
 	}{
-		{Pressure{Room: 4, Duration: clock.Second}, 0},
-		{Pressure{Waiting: 9, Room: 4, Typical: 50, Duration: 50}, 0},
-		{Pressure{Waiting: 2, Room: 4, Typical: 50, Duration: 100}, 0},
-		{Pressure{Waiting: 12, Room: 4, Typical: 50, Duration: 100}, 10},
-		{Pressure{Waiting: 2, Room: 20, Typical: 1000, Duration: 100}, 0},
+		{Pressure{Capacity: 4, Duration: clock.Second}, 0},
+		{Pressure{Waiting: 9, Capacity: 4, Typical: 50, Duration: 50}, 0},
+		{Pressure{Waiting: 2, Capacity: 4, Typical: 50, Duration: 100}, 0},
+		{Pressure{Waiting: 12, Capacity: 4, Typical: 50, Duration: 100}, 10},
+		{Pressure{Waiting: 2, Capacity: 20, Typical: 1000, Duration: 100}, 0},
 		{Pressure{Waiting: 3}, 3},
 		{Pressure{Waiting: 900, Typical: clock.Second}, maxSlots},
 	} {
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -6,8 +6,8 @@
 type Pressure struct {
 	// Waiting is the number of waiters whose customers may run now.
 	Waiting int
-	// Room is the number of requests that own and held slots run at once.
-	Room int
+	// Capacity is the number of requests that own and held slots run at once.
+	Capacity int
 	// Typical is the smoothed run time; 0 when it is not known.
 	Typical clock.Millis
 	// Duration is how long there have been such waiters without a break.
@@ -71,14 +71,14 @@
 
 // Want returns one slot for each waiter that own slots do not start in time.
 func (Idle) Want(p Pressure) int {
-	if p.Room > 0 && p.Duration < lasting {
+	if p.Capacity > 0 && p.Duration < lasting {
 		return 0
 	}
 	run := p.Typical
 	if run <= 0 {
 		run = guess
 	}
-	inTime := p.Room * int(min(run/2, patience)) / int(run)
+	inTime := p.Capacity * int(min(run/2, patience)) / int(run)
 	return min(max(p.Waiting-inTime, 0), maxSlots)
 }
 
