--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -32,12 +32,12 @@
 		want int
 	}{
 		{Pressure{Capacity: 4, Duration: clock.Second}, 0},
-		{Pressure{Waiting: 9, Capacity: 4, Typical: 50, Duration: 50}, 0},
-		{Pressure{Waiting: 2, Capacity: 4, Typical: 50, Duration: 100}, 0},
-		{Pressure{Waiting: 12, Capacity: 4, Typical: 50, Duration: 100}, 10},
-		{Pressure{Waiting: 2, Capacity: 20, Typical: 1000, Duration: 100}, 0},
+		{Pressure{Waiting: 9, Capacity: 4, TypicalRunTime: 50, Duration: 50}, 0},
+		{Pressure{Waiting: 2, Capacity: 4, TypicalRunTime: 50, Duration: 100}, 0},
+		{Pressure{Waiting: 12, Capacity: 4, TypicalRunTime: 50, Duration: 100}, 10},
+		{Pressure{Waiting: 2, Capacity: 20, TypicalRunTime: 1000, Duration: 100}, 0},
 		{Pressure{Waiting: 3}, 3},
-		{Pressure{Waiting: 900, Typical: clock.Second}, maxSlots},
+		{Pressure{Waiting: 900, TypicalRunTime: clock.Second}, maxSlots},
 	} {
 		assert.Equal(t, Idle{}.Want(c.p), c.want, "%+v", c.p)
 	}
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -8,8 +8,8 @@
 	Waiting int
 	// Capacity is the number of requests that own and held slots run at once.
 	Capacity int
-	// Typical is the smoothed run time; 0 when it is not known.
-	Typical clock.Millis
+	// TypicalRunTime is the smoothed run time; 0 when it is not known.
+	TypicalRunTime clock.Millis
 	// Duration is how long there have been such waiters without a break.
 	Duration clock.Millis
 }
@@ -74,7 +74,7 @@
 	if p.Capacity > 0 && p.Duration < lasting {
 		return 0
 	}
-	run := p.Typical
+	run := p.TypicalRunTime
 	if run <= 0 {
 		run = guess
 	}
