--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -102,7 +102,7 @@
 	d.pools = d.gate.Waiting(d.pools[:0])
 	for _, p := range d.pools {
 		if n := d.gate.Runnable(p); n > 0 {
-			d.needs = append(d.needs, lend.PoolDemand{Pool: p, Zones: d.spread[p], Pressure: lend.Pressure{
+			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.spread[p], Pressure: lend.Pressure{
 				Waiting: n, Capacity: d.room(now, p), TypicalRunTime: d.gate.Typical(p),
 			}})
 		}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -56,7 +56,7 @@
 	}, Idle{}, 0)
 }
 
-var need = []PoolDemand{{Pool: "p", Zones: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
+var need = []PoolDemand{{Pool: "p", InstancesByZone: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
 
 // plan returns the one order other than recalls.
 func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []PoolDemand) Message {
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -141,7 +141,7 @@
 	if want <= 0 || len(l.held) >= maxLoans {
 		return buf
 	}
-	to, none := l.choose(now, s, n.Zones)
+	to, none := l.choose(now, s, n.InstancesByZone)
 	if none && s.pending == 0 {
 		s.until = now + refusedFor
 	}
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -132,6 +132,6 @@
 type PoolDemand struct {
 	Pool model.Pool
 	Pressure
-	// Zones counts the serving instances of the pool in each zone.
-	Zones map[model.Zone]int
+	// InstancesByZone counts the serving instances of the pool in each zone.
+	InstancesByZone map[model.Zone]int
 }
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -209,7 +209,7 @@
 	p := w.proc()
 	p.ledger.Expire(w.at(p))
 	w.sync(p)
-	need := lend.PoolDemand{Pool: "p", Zones: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: w.rng.IntN(10)}}
+	need := lend.PoolDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: w.rng.IntN(10)}}
 	for _, o := range p.ledger.Plan(w.at(p), []lend.PoolDemand{need}, nil) {
 		w.net = append(w.net, &message{from: p, to: w.find(o.To), number: p.number, order: o, asked: w.at(p)})
 	}
