--- a/core/state/plan/assign.go
+++ b/core/state/plan/assign.go
@@ -114,7 +114,7 @@
 		}
 		others += max(0, c.Spare-gone)
 	}
-	if d.set.Borrow {
+	if d.set.BorrowReserve {
 		others = 0
 	}
 	return own && d.l.have[spare] > others
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -4,9 +4,9 @@
 
 // Settings are the choices of an operator that concern assignments.
 type Settings struct {
-	// Borrow lets a customer's repair use spare instances that are reserved
+	// BorrowReserve lets a customer's repair use spare instances that are reserved
 	// for other customers of the same spare pool.
-	Borrow bool
+	BorrowReserve bool
 	// ExchangeMoves bounds the moves of one decision that only lower the
 	// exposure to a loss. Each of them is a disruption of its own.
 	ExchangeMoves int
