--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -33,9 +33,9 @@
 	// counts as low. It is below 100, so that a demand near the capacity does
 	// not move instances to and fro.
 	LowPercent int
-	// Keep is the number of instances that each spare pool never lends: the
+	// MinSpare is the number of instances that each spare pool never lends: the
 	// loss that must stay covered during a surge.
-	Keep int
+	MinSpare int
 	// Donate lets a pool give up promised instances to another pool of the
 	// same spare while its own demand is low.
 	Donate bool
@@ -246,7 +246,7 @@
 	if spare == "" {
 		return 0
 	}
-	n := s.hold[spare].Instances - s.w.Keep - s.away[spare]
+	n := s.hold[spare].Instances - s.w.MinSpare - s.away[spare]
 	for _, h := range s.hold {
 		if h.Spare == spare {
 			n += h.Instances - h.Promised
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -74,7 +74,7 @@
 	_, extras := Surge(c, w, r.holdings(), r.demand[:], r.now)
 	moves := Decide(Spread{}, Settings{}, r.w.book, extras).Moves
 	r.breaches += r.w.release(moves)
-	if r.w.book.l.have["spare"] < w.Keep {
+	if r.w.book.l.have["spare"] < w.MinSpare {
 		r.breaches++
 	}
 	r.lent += float64(max(0, r.w.contracts[0].Spare-r.w.book.l.have["spare"]))
@@ -108,7 +108,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := newSurge(rapid.Uint64().Draw(t, "seed"), 8, 9, 8, 8, 9)
 		w := RolloutFirst()
-		w.Keep = rapid.IntRange(0, 8).Draw(t, "keep")
+		w.MinSpare = rapid.IntRange(0, 8).Draw(t, "keep")
 		w.HoldMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
 		minutes := 3
 		for range 60 * minutes {
@@ -117,7 +117,7 @@
 		if r.breaches > 0 {
 			t.Fatalf("%d breaches", r.breaches)
 		}
-		if most := 2 * (8 - w.Keep) * 5 * (minutes + 1); r.w.moves > most {
+		if most := 2 * (8 - w.MinSpare) * 5 * (minutes + 1); r.w.moves > most {
 			t.Fatalf("%d moves in %d minutes; one loan of each instance for each peak is %d", r.w.moves, minutes, most)
 		}
 	})
@@ -158,7 +158,7 @@
 // preference that lets pools give up promised ones.
 func TestDonorsKeepWhatTheyUse(t *testing.T) {
 	w := RolloutFirst()
-	w.Donate, w.Keep = true, 8
+	w.Donate, w.MinSpare = true, 8
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"q", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
 	for _, c := range []struct {
 		busy   float64
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -148,7 +148,7 @@
 	if cfg.SurgePreference == "buffer-cost" {
 		w = plan.BufferFirst()
 	}
-	w.Keep = cfg.SurgeKeep
+	w.MinSpare = cfg.SurgeKeep
 	return mover.NewSurges(plan.Cheapest{}, w, cfg.SurgePreference != "off")
 }
 
