--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -25,7 +25,7 @@
 		sum, least, most := 0, total, 0
 		for p := range seen {
 			rank, count := Rank(all, p)
-			s := Limit{InFlight: total}.Divide(rank, count).InFlight
+			s := Limit{MaxInFlight: total}.Divide(rank, count).MaxInFlight
 			sum += s
 			least, most = min(least, s), max(most, s)
 		}
@@ -40,9 +40,9 @@
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
-	assert.Equal(t, LimitOf(c, slots), Limit{InFlight: 40, Queue: 3, RetryPercent: 7, Weight: 40})
+	assert.Equal(t, LimitOf(c, slots), Limit{MaxInFlight: 40, Queue: 3, RetryPercent: 7, Weight: 40})
 	c.Concurrency = 5
-	assert.Equal(t, LimitOf(c, slots).InFlight, 5)
+	assert.Equal(t, LimitOf(c, slots).MaxInFlight, 5)
 }
 
 // world runs a gate against a pool with a number of slots and keeps its own
@@ -92,7 +92,7 @@
 		}
 		pools := []model.PoolShare{{Pool: "p"}}
 		for i := range 3 {
-			l := Limit{InFlight: rapid.IntRange(0, 4).Draw(t, "share"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
+			l := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
 			c := model.Customer(fmt.Sprint(i))
 			w.limits[c] = l
 			w.g.SetCustomer(c, l, pools)
@@ -143,7 +143,7 @@
 				waits := 0
 				w.g.Each(func(a *CustomerState[int]) {
 					assert.Equal(t, a.Running, w.running[a.Name])
-					assert.Assert(t, a.Running <= w.limits[a.Name].InFlight)
+					assert.Assert(t, a.Running <= w.limits[a.Name].MaxInFlight)
 					assert.Assert(t, a.Waiting <= w.limits[a.Name].Queue)
 					waits += a.Waiting
 				})
@@ -158,8 +158,8 @@
 func share[P Picker](picker P, weightA, weightB, n int) (a, b int) {
 	g := New[P, model.Customer](picker)
 	pools := []model.PoolShare{{Pool: "p"}}
-	g.SetCustomer("a", Limit{InFlight: 10, Queue: 1000, Weight: weightA}, pools)
-	g.SetCustomer("b", Limit{InFlight: 10, Queue: 1000, Weight: weightB}, pools)
+	g.SetCustomer("a", Limit{MaxInFlight: 10, Queue: 1000, Weight: weightA}, pools)
+	g.SetCustomer("b", Limit{MaxInFlight: 10, Queue: 1000, Weight: weightB}, pools)
 	fill := func(c model.Customer, want int) {
 		l, _ := g.Line(c, "p")
 		for l.Len() < want {
@@ -198,7 +198,7 @@
 // refusing what can.
 func TestDeadlineDecidesAtTheDoor(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
-	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	g.SetCustomer("a", Limit{MaxInFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Line("a", "p")
 	g.Start(l)
 	g.End(l, 100)
@@ -219,7 +219,7 @@
 // Guards against a few long requests that keep all short ones from waiting.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
-	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	g.SetCustomer("a", Limit{MaxInFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Line("a", "p")
 	for k := range 1000 {
 		g.Start(l)
@@ -239,7 +239,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
 		g := New[WeightedFair, int](WeightedFair{})
-		g.SetCustomer("a", Limit{InFlight: 1, RetryPercent: percent}, nil)
+		g.SetCustomer("a", Limit{MaxInFlight: 1, RetryPercent: percent}, nil)
 		a := g.Account("a")
 		tries, retries := 0, 0
 		for _, retry := range rapid.SliceOf(rapid.Bool()).Draw(t, "retry") {
@@ -259,7 +259,7 @@
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
-	g.SetCustomer("a", Limit{InFlight: 2, Queue: 2}, pools)
+	g.SetCustomer("a", Limit{MaxInFlight: 2, Queue: 2}, pools)
 	l, _ := g.Line("a", "p")
 	g.Start(l)
 	_, why := g.Join(0, 100, l, 1, 7)
@@ -267,7 +267,7 @@
 	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
 	_, why = g.Line("a", "p")
 	assert.Equal(t, why, ReasonContract)
-	g.SetCustomer("a", Limit{InFlight: 2}, pools)
+	g.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
 	assert.Equal(t, g.Account("a").Running, 1)
 	g.RemoveCustomer("a")
 	g.End(l, 1)
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -206,7 +206,7 @@
 	if l == nil {
 		return nil, ReasonPool
 	}
-	if a.Limit.InFlight == 0 {
+	if a.Limit.MaxInFlight == 0 {
 		return nil, ReasonShare
 	}
 	return l, ReasonNone
@@ -295,7 +295,7 @@
 	}
 	n := 0
 	for _, l := range h.active {
-		n += max(0, min(l.length, l.Customer.Limit.InFlight-l.Customer.Running))
+		n += max(0, min(l.length, l.Customer.Limit.MaxInFlight-l.Customer.Running))
 	}
 	return n
 }
--- a/core/state/admit/limit.go
+++ b/core/state/admit/limit.go
@@ -9,8 +9,8 @@
 // Limit is what a customer may hold over all entry processes, or the share of
 // one entry process after Divide.
 type Limit struct {
-	// InFlight is the number of requests that run at once.
-	InFlight int
+	// MaxInFlight is the number of requests that run at once.
+	MaxInFlight int
 	// Queue is the number of requests that wait at once.
 	Queue int
 	// RetryPercent bounds retries, as a share of the first tries.
@@ -30,13 +30,13 @@
 			n += p.Instances * slots(p.Pool)
 		}
 	}
-	return Limit{InFlight: n, Queue: c.Queue, RetryPercent: c.RetryPercent, Weight: max(n, 1)}
+	return Limit{MaxInFlight: n, Queue: c.Queue, RetryPercent: c.RetryPercent, Weight: max(n, 1)}
 }
 
 // Divide returns the share of one entry process. The weight stays whole,
 // because it is only compared with other weights.
 func (l Limit) Divide(rank, count int) Limit {
-	l.InFlight = Share(l.InFlight, rank, count)
+	l.MaxInFlight = Share(l.MaxInFlight, rank, count)
 	l.Queue = Share(l.Queue, rank, count)
 	return l
 }
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -33,7 +33,7 @@
 func (w *Waiter[R]) Line() *Queue[R] { return w.line }
 
 // CanRun reports whether the customer is below its share.
-func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.InFlight }
+func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.MaxInFlight }
 
 // Len is the number of waiters.
 func (l *Queue[R]) Len() int { return l.length }
@@ -52,7 +52,7 @@
 		}
 	}
 	rate := float64(slots) * float64(l.turn.Weight) / float64(total)
-	rate = min(rate, float64(l.Customer.Limit.InFlight))
+	rate = min(rate, float64(l.Customer.Limit.MaxInFlight))
 	return clock.Millis(float64(l.length+1) * l.hall.typical / rate)
 }
 
