--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -40,7 +40,7 @@
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
-	assert.Equal(t, LimitOf(c, slots), Limit{MaxInFlight: 40, Queue: 3, RetryPercent: 7, Weight: 40})
+	assert.Equal(t, LimitOf(c, slots), Limit{MaxInFlight: 40, MaxQueued: 3, RetryPercent: 7, Weight: 40})
 	c.Concurrency = 5
 	assert.Equal(t, LimitOf(c, slots).MaxInFlight, 5)
 }
@@ -92,7 +92,7 @@
 		}
 		pools := []model.PoolShare{{Pool: "p"}}
 		for i := range 3 {
-			l := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
+			l := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), MaxQueued: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
 			c := model.Customer(fmt.Sprint(i))
 			w.limits[c] = l
 			w.g.SetCustomer(c, l, pools)
@@ -144,7 +144,7 @@
 				w.g.Each(func(a *CustomerState[int]) {
 					assert.Equal(t, a.Running, w.running[a.Name])
 					assert.Assert(t, a.Running <= w.limits[a.Name].MaxInFlight)
-					assert.Assert(t, a.Waiting <= w.limits[a.Name].Queue)
+					assert.Assert(t, a.Waiting <= w.limits[a.Name].MaxQueued)
 					waits += a.Waiting
 				})
 				assert.Equal(t, waits, len(w.waiting))
@@ -158,8 +158,8 @@
 func share[P Picker](picker P, weightA, weightB, n int) (a, b int) {
 	g := New[P, model.Customer](picker)
 	pools := []model.PoolShare{{Pool: "p"}}
-	g.SetCustomer("a", Limit{MaxInFlight: 10, Queue: 1000, Weight: weightA}, pools)
-	g.SetCustomer("b", Limit{MaxInFlight: 10, Queue: 1000, Weight: weightB}, pools)
+	g.SetCustomer("a", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightA}, pools)
+	g.SetCustomer("b", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightB}, pools)
 	fill := func(c model.Customer, want int) {
 		l, _ := g.Line(c, "p")
 		for l.Len() < want {
@@ -198,7 +198,7 @@
 // refusing what can.
 func TestDeadlineDecidesAtTheDoor(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
-	g.SetCustomer("a", Limit{MaxInFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Line("a", "p")
 	g.Start(l)
 	g.End(l, 100)
@@ -219,7 +219,7 @@
 // Guards against a few long requests that keep all short ones from waiting.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
-	g.SetCustomer("a", Limit{MaxInFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Line("a", "p")
 	for k := range 1000 {
 		g.Start(l)
@@ -259,7 +259,7 @@
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
-	g.SetCustomer("a", Limit{MaxInFlight: 2, Queue: 2}, pools)
+	g.SetCustomer("a", Limit{MaxInFlight: 2, MaxQueued: 2}, pools)
 	l, _ := g.Line("a", "p")
 	g.Start(l)
 	_, why := g.Join(0, 100, l, 1, 7)
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -259,7 +259,7 @@
 // at once. The request is refused when the customer's queue is full, or when
 // the expected wait and run time reach beyond the deadline.
 func (g *Controller[P, R]) Join(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
-	if l.Customer.Waiting >= l.Customer.Limit.Queue {
+	if l.Customer.Waiting >= l.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
 	}
 	wait := l.Wait(slots)
--- a/core/state/admit/limit.go
+++ b/core/state/admit/limit.go
@@ -11,8 +11,8 @@
 type Limit struct {
 	// MaxInFlight is the number of requests that run at once.
 	MaxInFlight int
-	// Queue is the number of requests that wait at once.
-	Queue int
+	// MaxQueued is the number of requests that wait at once.
+	MaxQueued int
 	// RetryPercent bounds retries, as a share of the first tries.
 	RetryPercent int
 	// Weight is the customer's part in the fair choice; below 1 counts as 1.
@@ -30,13 +30,13 @@
 			n += p.Instances * slots(p.Pool)
 		}
 	}
-	return Limit{MaxInFlight: n, Queue: c.Queue, RetryPercent: c.RetryPercent, Weight: max(n, 1)}
+	return Limit{MaxInFlight: n, MaxQueued: c.Queue, RetryPercent: c.RetryPercent, Weight: max(n, 1)}
 }
 
 // Divide returns the share of one entry process. The weight stays whole,
 // because it is only compared with other weights.
 func (l Limit) Divide(rank, count int) Limit {
 	l.MaxInFlight = Share(l.MaxInFlight, rank, count)
-	l.Queue = Share(l.Queue, rank, count)
+	l.MaxQueued = Share(l.MaxQueued, rank, count)
 	return l
 }
