--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -98,9 +98,9 @@
 		surges(b, u.name+"/queue-only", QueueOnly{}, u.w, u.sizes)
 		surges(b, u.name+"/eager", Eager{}, u.w, u.sizes)
 		surges(b, u.name+"/cheapest", Cheapest{}, u.w, u.sizes)
-		u.w.HoldMillis = 0
+		u.w.ReturnDelayMillis = 0
 		surges(b, u.name+"/cheapest-no-hold", Cheapest{}, u.w, u.sizes)
-		u.w.HoldMillis, u.w.Donate = 10*clock.Second, true
+		u.w.ReturnDelayMillis, u.w.Donate = 10*clock.Second, true
 		surges(b, u.name+"/cheapest-donate", Cheapest{}, u.w, u.sizes)
 	}
 }
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -47,7 +47,7 @@
 
 // absence is how many seconds a lent instance is away from the spare.
 func (s *surge) absence(left clock.Millis) float64 {
-	return float64(max(left, s.w.MoveMillis)+s.w.HoldMillis+s.w.MoveMillis) / 1000
+	return float64(max(left, s.w.MoveMillis)+s.w.ReturnDelayMillis+s.w.MoveMillis) / 1000
 }
 
 // waitCost is the cost of waiting and refusals when n instances are added
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -27,8 +27,8 @@
 	PeakMillis clock.Millis
 	// PeakEveryMillis is the time from one peak of a service to the next.
 	PeakEveryMillis clock.Millis
-	// HoldMillis is how long demand must stay low before instances go back.
-	HoldMillis clock.Millis
+	// ReturnDelayMillis is how long demand must stay low before instances go back.
+	ReturnDelayMillis clock.Millis
 	// LowPercent of the promised capacity is the demand below which a pool
 	// counts as low. It is below 100, so that a demand near the capacity does
 	// not move instances to and fro.
@@ -271,7 +271,7 @@
 // settled reports whether the pool's demand has been low for HoldMillis.
 func (s *surge) settled(p Pool) bool {
 	d := s.demand[p]
-	return d.LowSince > 0 && d.HighSince == 0 && s.now-d.LowSince >= s.w.HoldMillis
+	return d.LowSince > 0 && d.HighSince == 0 && s.now-d.LowSince >= s.w.ReturnDelayMillis
 }
 
 // donors lists the pools with the same spare, in ascending order.
@@ -307,7 +307,7 @@
 		c.Reason = fmt.Sprintf("%d instances are needed elsewhere", extra-kept)
 	case extra > 0:
 		c.Action = ActionKeep
-		c.Reason = fmt.Sprintf("demand was not below %d%% of the promised slots for %d ms yet", s.w.LowPercent, s.w.HoldMillis)
+		c.Reason = fmt.Sprintf("demand was not below %d%% of the promised slots for %d ms yet", s.w.LowPercent, s.w.ReturnDelayMillis)
 	}
 	return c
 }
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -109,7 +109,7 @@
 		r := newSurge(rapid.Uint64().Draw(t, "seed"), 8, 9, 8, 8, 9)
 		w := RolloutFirst()
 		w.MinSpare = rapid.IntRange(0, 8).Draw(t, "keep")
-		w.HoldMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
+		w.ReturnDelayMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
 		minutes := 3
 		for range 60 * minutes {
 			second(r, Eager{}, w)
