--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -101,11 +101,11 @@
 // away: services peak in turn, so it has a peak with a chance in proportion to
 // the time away.
 func (s *surge) risk(p Pool, n int, left clock.Millis) float64 {
-	if s.w.PeakEveryMillis <= 0 {
+	if s.w.PeakIntervalMillis <= 0 {
 		return 0
 	}
 	away := s.absence(left) * 1000
-	chance := min(1, away/float64(s.w.PeakEveryMillis))
+	chance := min(1, away/float64(s.w.PeakIntervalMillis))
 	short := float64(n * s.hold[p].SlotsPerInstance)
 	service := float64(max(s.demand[p].ServiceMillis, 1)) / 1000
 	peak := float64(s.w.PeakMillis) / 1000
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -25,8 +25,8 @@
 	MoveMillis clock.Millis
 	// PeakMillis is how long a peak lasts as a rule; at least 1.
 	PeakMillis clock.Millis
-	// PeakEveryMillis is the time from one peak of a service to the next.
-	PeakEveryMillis clock.Millis
+	// PeakIntervalMillis is the time from one peak of a service to the next.
+	PeakIntervalMillis clock.Millis
 	// ReturnDelayMillis is how long demand must stay low before instances go back.
 	ReturnDelayMillis clock.Millis
 	// LowPercent of the promised capacity is the demand below which a pool
--- a/core/state/plan/weights.go
+++ b/core/state/plan/weights.go
@@ -7,7 +7,7 @@
 func RolloutFirst() Weights {
 	return Weights{
 		WaitCost: 1, RefuseCost: 20, BufferCost: 0.2, MoveCost: 5, MoveMillis: 3 * clock.Second, PeakMillis: 12 * clock.Second,
-		PeakEveryMillis: clock.Minute, ReturnDelayMillis: 10 * clock.Second, LowPercent: 70, MinSpare: 4,
+		PeakIntervalMillis: clock.Minute, ReturnDelayMillis: 10 * clock.Second, LowPercent: 70, MinSpare: 4,
 	}
 }
 
