--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		contracts := drawContracts(t, 4)
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 24).Draw(t, "n"), 3, contracts)
-		set := Settings{BorrowReserve: true, ExchangeMoves: 4}
+		set := Settings{BorrowReserve: true, MaxExchangeMoves: 4}
 		ids := w.ids()
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
 			a := Decide(Balance{}, set, w.book, nil)
@@ -157,7 +157,7 @@
 	victim := w.ids()[w.rnd.IntN(7)]
 	w.lose(func(i model.Instance) bool { return i.ID == victim }, true)
 	in := w.input()
-	a := Assign(p, Settings{BorrowReserve: true, ExchangeMoves: 6}, in)
+	a := Assign(p, Settings{BorrowReserve: true, MaxExchangeMoves: 6}, in)
 	promised, exposed := missingOf(a)
 	spare := 0
 	for _, g := range a.Gaps {
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -35,7 +35,7 @@
 			for seed := range uint64(seeds) {
 				w := newWorld(seed, 54, 3, users(covers, 8, sizes...))
 				settle := func() {
-					a := Decide(p, Settings{ExchangeMoves: 8}, w.book, nil)
+					a := Decide(p, Settings{MaxExchangeMoves: 8}, w.book, nil)
 					refused += float64(w.release(a.Moves) + w.finish())
 					m, e := missingOf(a)
 					missing, exposed, idle = missing+float64(m), exposed+float64(e), idle+float64(a.Idle)/4
--- a/core/state/plan/exchange.go
+++ b/core/state/plan/exchange.go
@@ -12,7 +12,7 @@
 // the bound on such moves allows it. A single move from a surplus is tried
 // before an exchange of two.
 func (d *draft[P]) exchange() {
-	for used := 0; used < d.set.ExchangeMoves; {
+	for used := 0; used < d.set.MaxExchangeMoves; {
 		g, kind, name := d.exposed()
 		if g == nil {
 			return
@@ -21,7 +21,7 @@
 		switch {
 		case d.single(g, kind, name, reason):
 			used++
-		case used+2 <= d.set.ExchangeMoves && d.swap(g, kind, name, reason):
+		case used+2 <= d.set.MaxExchangeMoves && d.swap(g, kind, name, reason):
 			used += 2
 		default:
 			return
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -7,9 +7,9 @@
 	// BorrowReserve lets a customer's repair use spare instances that are reserved
 	// for other customers of the same spare pool.
 	BorrowReserve bool
-	// ExchangeMoves bounds the moves of one decision that only lower the
+	// MaxExchangeMoves bounds the moves of one decision that only lower the
 	// exposure to a loss. Each of them is a disruption of its own.
-	ExchangeMoves int
+	MaxExchangeMoves int
 }
 
 // Extra asks for instances beyond what contracts promise, at the expense of
