--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -103,7 +103,7 @@
 	if !l.On() || l.Quarantined(now) {
 		return out
 	}
-	until := now + l.cfg.Lease + max(l.cfg.Hold, a.Hold)
+	until := now + l.cfg.Lease + max(l.cfg.Hold, a.MaxRequestTime)
 	p := l.divide(now, a, stocks)
 	for _, id := range a.Renew {
 		k := key{a.Borrower, a.Incarnation, id}
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -47,8 +47,8 @@
 	// Slots is the number wanted; 0 asks for renewals only.
 	Slots int
 	Renew []ID
-	// Hold is the longest time that a request of the borrower lasts.
-	Hold clock.Millis
+	// MaxRequestTime is the longest time that a request of the borrower lasts.
+	MaxRequestTime clock.Millis
 }
 
 // LoanResponse is what the lender grants.
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -19,7 +19,7 @@
 func AskToWire(a lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
 		Borrower: text(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: text(a.Pool),
-		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.Hold),
+		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.MaxRequestTime),
 	}
 }
 
@@ -37,7 +37,7 @@
 	return lend.LoanRequest{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(), Number: w.GetNumber(),
 		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: list(w.GetRenew(), idFromWire),
-		Hold: clock.Millis(w.GetHoldMs()),
+		MaxRequestTime: clock.Millis(w.GetHoldMs()),
 	}, nil
 }
 
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -12,7 +12,7 @@
 // TestLoanRoundTrip fails when a field of a message about loans is not carried
 // over the wire, or when a loan without a slot or a connection is accepted.
 func TestLoanRoundTrip(t *testing.T) {
-	a := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, Hold: 7}
+	a := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, MaxRequestTime: 7}
 	a2, err := AskFromWire(AskToWire(a))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a2, a)
