--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -58,7 +58,7 @@
 
 // place is a reserved slot: of the own share, or of a loan when that is set.
 type place struct {
-	held route.Held
+	held route.Reservation
 	loan *lend.HeldLoan
 }
 
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -28,7 +28,7 @@
 
 // run is a request in flight.
 type run struct {
-	held route.Held
+	held route.Reservation
 	loan *lend.HeldLoan
 	id   model.InstanceID
 	ends clock.Millis
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -98,7 +98,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
 		type flight struct {
-			held Held
+			held Reservation
 			// until is the highest version that may be confirmed while the
 			// request runs.
 			until model.Version
@@ -290,7 +290,7 @@
 
 // Guards against a choice that ignores load; the baseline does.
 func TestLeastLoadedEvensOut(t *testing.T) {
-	uneven := func(pick func() (Held, bool), end func(Held)) int {
+	uneven := func(pick func() (Reservation, bool), end func(Reservation)) int {
 		// Requests on i0 never end; all others end at once.
 		stuck := 0
 		for range 100 {
@@ -304,8 +304,8 @@
 		return stuck
 	}
 	a, b := pool(LeastLoaded{}, 3), pool(&TakeTurns{}, 3)
-	least := uneven(func() (Held, bool) { return a.Pick(start, "p", "") }, func(h Held) { a.End(start, h, OutcomeOK) })
-	turns := uneven(func() (Held, bool) { return b.Pick(start, "p", "") }, func(h Held) { b.End(start, h, OutcomeOK) })
+	least := uneven(func() (Reservation, bool) { return a.Pick(start, "p", "") }, func(h Reservation) { a.End(start, h, OutcomeOK) })
+	turns := uneven(func() (Reservation, bool) { return b.Pick(start, "p", "") }, func(h Reservation) { b.End(start, h, OutcomeOK) })
 	assert.Equal(t, least, 1)
 	assert.Equal(t, turns, 8)
 	h, ok := a.Pick(start, "p", "i1")
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -195,9 +195,9 @@
 	}
 }
 
-// Held is a reserved slot: the upstream with its generation and incarnation at
+// Reservation is a reserved slot: the upstream with its generation and incarnation at
 // the time of the Pick.
-type Held struct {
+type Reservation struct {
 	Upstream    *Upstream
 	Generation  uint32
 	Incarnation uint64
@@ -205,10 +205,10 @@
 
 // Pick reserves a slot of an upstream of the pool; ok is false when none has
 // room. The upstream to avoid is taken only when no other has room.
-func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Held, ok bool) {
+func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
 	g := r.pools[p]
 	if g == nil || len(g.members) == 0 {
-		return Held{}, false
+		return Reservation{}, false
 	}
 	r.candidates = r.candidates[:0]
 	var last *Upstream
@@ -229,11 +229,11 @@
 		g.turn++
 	}
 	if last == nil {
-		return Held{}, false
+		return Reservation{}, false
 	}
 	last.Running++
 	last.Peak = max(last.Peak, last.Running)
-	return Held{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
+	return Reservation{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
 }
 
 // Restored appends the upstreams whose ejection has ended since the last call.
@@ -252,7 +252,7 @@
 }
 
 // Return gives back a reservation that was not used.
-func (r *Router[P]) Return(h Held) {
+func (r *Router[P]) Return(h Reservation) {
 	h.Upstream.Running--
 	r.forget(h.Upstream)
 }
@@ -313,7 +313,7 @@
 // End gives a slot back and reports whether the upstream was ejected by this
 // outcome. The outcome of a request to an earlier process of the upstream says
 // nothing of the present one.
-func (r *Router[P]) End(now clock.Millis, h Held, o Outcome) (ejected bool) {
+func (r *Router[P]) End(now clock.Millis, h Reservation, o Outcome) (ejected bool) {
 	u := h.Upstream
 	u.Running--
 	if h.Generation != u.Generation && u.Old > 0 {
