--- a/core/state/route/policy.go
+++ b/core/state/route/policy.go
@@ -3,8 +3,8 @@
 // Candidate is an upstream with room for a request.
 type Candidate struct {
 	Upstream *Upstream
-	// Room is the number of requests it may run now; above Upstream.Running.
-	Room int
+	// Capacity is the number of requests it may run now; above Upstream.Running.
+	Capacity int
 }
 
 // Policy chooses among candidates; there is at least one. turn grows by one
@@ -31,7 +31,7 @@
 }
 
 func load(c Candidate) float64 {
-	return float64(c.Upstream.Running) / float64(c.Room)
+	return float64(c.Upstream.Running) / float64(c.Capacity)
 }
 
 // TakeTurns is the baseline: the candidates one after the other.
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -222,7 +222,7 @@
 			last = u
 			continue
 		}
-		r.candidates = append(r.candidates, Candidate{Upstream: u, Room: n})
+		r.candidates = append(r.candidates, Candidate{Upstream: u, Capacity: n})
 	}
 	if len(r.candidates) > 0 {
 		last = r.candidates[r.policy.Choose(r.candidates, g.turn)].Upstream
