--- a/core/state/route/policy.go
+++ b/core/state/route/policy.go
@@ -34,10 +34,10 @@
 	return float64(c.Upstream.Running) / float64(c.Capacity)
 }
 
-// TakeTurns is the baseline: the candidates one after the other.
-type TakeTurns struct{}
+// RoundRobin is the baseline: the candidates one after the other.
+type RoundRobin struct{}
 
 // Choose returns the index of the candidate whose turn it is.
-func (TakeTurns) Choose(candidates []Candidate, turn uint64) int {
+func (RoundRobin) Choose(candidates []Candidate, turn uint64) int {
 	return int(turn % uint64(len(candidates)))
 }
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -303,7 +303,7 @@
 		}
 		return stuck
 	}
-	a, b := pool(LeastLoaded{}, 3), pool(&TakeTurns{}, 3)
+	a, b := pool(LeastLoaded{}, 3), pool(&RoundRobin{}, 3)
 	least := uneven(func() (Reservation, bool) { return a.Pick(start, "p", "") }, func(h Reservation) { a.End(start, h, OutcomeOK) })
 	turns := uneven(func() (Reservation, bool) { return b.Pick(start, "p", "") }, func(h Reservation) { b.End(start, h, OutcomeOK) })
 	assert.Equal(t, least, 1)
