--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -155,7 +155,7 @@
 		Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount,
 		Lending: d.loans.On(), ReservePercent: cfg.Lending.ReservePercent,
 	}, policy)
-	d.router.Quarantine = d.loans.Quarantined(clk.Now())
+	d.router.LoansUncertain = d.loans.Quarantined(clk.Now())
 	d.asks.New = func() any { return &ask{reply: make(chan struct{}, 1)} }
 	return d
 }
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -139,7 +139,7 @@
 }
 
 func (w *world) sync(p *proc) {
-	p.router.Quarantine = p.ledger.Quarantined(w.at(p))
+	p.router.LoansUncertain = p.ledger.Quarantined(w.at(p))
 	p.ledger.Changed(func(id model.InstanceID, n int) { p.router.SetLent(id, n) })
 }
 
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -34,10 +34,10 @@
 	blocked map[model.InstanceID]*Upstream
 	// Version is the version of the table in force.
 	Version model.Version
-	// Quarantine says that the lendable slots may be in use under loans of an
+	// LoansUncertain says that the lendable slots may be in use under loans of an
 	// earlier run of this process.
-	Quarantine bool
-	candidates []Candidate
+	LoansUncertain bool
+	candidates     []Candidate
 	// ejected lists the upstreams whose return was not reported yet.
 	ejected []*Upstream
 }
@@ -274,7 +274,7 @@
 		return 0
 	}
 	slots := u.Slots - u.Lent
-	if r.Quarantine {
+	if r.LoansUncertain {
 		slots = u.Slots - max(u.Lendable, u.Lent)
 	}
 	age := max(now-u.Since, 0)
@@ -341,7 +341,7 @@
 // again before all earlier requests had ended, which control never allows, the
 // result can be lower than that.
 func (r *Router[P]) Drained() model.Version {
-	if r.Quarantine {
+	if r.LoansUncertain {
 		return 0
 	}
 	v := r.Version
