--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -120,8 +120,8 @@
 // release starts a new generation: the requests in flight hold up the release.
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
-	u.Old = u.Running
-	if u.Old > 0 || u.Lent > 0 {
+	u.OldRunning = u.Running
+	if u.OldRunning > 0 || u.Lent > 0 {
 		if u.Blocked == 0 {
 			u.Blocked = v
 		}
@@ -316,8 +316,8 @@
 func (r *Router[P]) End(now clock.Millis, h Reservation, o Outcome) (ejected bool) {
 	u := h.Upstream
 	u.Running--
-	if h.Generation != u.Generation && u.Old > 0 {
-		u.Old--
+	if h.Generation != u.Generation && u.OldRunning > 0 {
+		u.OldRunning--
 		r.unblock(u)
 	}
 	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
@@ -329,7 +329,7 @@
 
 // unblock ends the hold-up of a release once nothing uses the instance.
 func (r *Router[P]) unblock(u *Upstream) {
-	if u.Old == 0 && u.Lent == 0 {
+	if u.OldRunning == 0 && u.Lent == 0 {
 		u.Blocked = 0
 		delete(r.blocked, u.Instance)
 	}
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -53,8 +53,8 @@
 	Running int
 	// Generation grows each time the instance is released from a pool.
 	Generation uint32
-	// Old is the number of requests in flight of earlier generations.
-	Old int
+	// OldRunning is the number of requests in flight of earlier generations.
+	OldRunning int
 	// Blocked is the table version of the release that Old requests or Lent
 	// slots hold up; 0 when both are 0.
 	Blocked model.Version
