--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -122,8 +122,8 @@
 	u.Generation++
 	u.OldRunning = u.Running
 	if u.OldRunning > 0 || u.Lent > 0 {
-		if u.Blocked == 0 {
-			u.Blocked = v
+		if u.BlockedRelease == 0 {
+			u.BlockedRelease = v
 		}
 		r.blocked[u.Instance] = u
 	}
@@ -330,7 +330,7 @@
 // unblock ends the hold-up of a release once nothing uses the instance.
 func (r *Router[P]) unblock(u *Upstream) {
 	if u.OldRunning == 0 && u.Lent == 0 {
-		u.Blocked = 0
+		u.BlockedRelease = 0
 		delete(r.blocked, u.Instance)
 	}
 }
@@ -346,7 +346,7 @@
 	}
 	v := r.Version
 	for _, u := range r.blocked {
-		v = min(v, u.Blocked-1)
+		v = min(v, u.BlockedRelease-1)
 	}
 	return v
 }
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -55,9 +55,9 @@
 	Generation uint32
 	// OldRunning is the number of requests in flight of earlier generations.
 	OldRunning int
-	// Blocked is the table version of the release that Old requests or Lent
+	// BlockedRelease is the table version of the release that Old requests or Lent
 	// slots hold up; 0 when both are 0.
-	Blocked model.Version
+	BlockedRelease model.Version
 	// Since is the time at which the upstream became routable.
 	Since clock.Millis
 	// Score is the smoothed share of failures, from 0 to 1.
