--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -185,8 +185,8 @@
 			r.moved = now
 		}
 		r.percent = x.Percent
-		if x.Saved != "" {
-			r.saved = x.Saved
+		if x.Checkpoint != "" {
+			r.saved = x.Checkpoint
 		}
 	}
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -57,8 +57,8 @@
 type Running struct {
 	Task jobs.TaskID
 	Run  int
-	// Saved is the latest checkpoint; empty for none.
-	Saved string
+	// Checkpoint is the latest checkpoint; empty for none.
+	Checkpoint string
 	// Percent is the progress of a task that ends, and 100 for a lasting task
 	// that is at work.
 	Percent int
