--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -21,7 +21,7 @@
 	d := New(Settings{
 		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, Orders: orders,
 		Lending: lend.Settings{
-			Self: self, Zone: zone, Entries: all, Incarnation: 1, Lease: clock.Minute, Hold: clock.Minute, ReservePercent: 25,
+			Self: self, Zone: zone, Entries: all, Incarnation: 1, Lease: clock.Minute, MaxRequestTime: clock.Minute, ReservePercent: 25,
 		},
 	}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	ended := make(chan struct{})
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -202,7 +202,7 @@
 		// It stands for the loans that may have been granted.
 		l.hold(&HeldLoan{
 			Loan: Loan{ID: askID(o.Ask.Number), Pool: o.Ask.Pool}, Lender: o.To, ended: true,
-			forget: now + l.cfg.Lease + l.cfg.Hold,
+			forget: now + l.cfg.Lease + l.cfg.MaxRequestTime,
 		})
 	}
 	if void || len(a.Loans) == 0 {
@@ -214,7 +214,7 @@
 		l.Counts.Taken++
 		l.hold(&HeldLoan{
 			Loan: loan, Lender: o.To, Until: end, used: now, lenderRun: a.Incarnation,
-			forget: now + a.Lease + l.cfg.Hold,
+			forget: now + a.Lease + l.cfg.MaxRequestTime,
 		})
 	}
 }
@@ -233,7 +233,7 @@
 		h.ended = true
 	default:
 		h.Until = max(h.Until, end)
-		h.forget = max(h.forget, now+a.Lease+l.cfg.Hold)
+		h.forget = max(h.forget, now+a.Lease+l.cfg.MaxRequestTime)
 	}
 }
 
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -64,7 +64,7 @@
 			l.unheard[m.Name] = 0
 		}
 	}
-	l.quarantine = now + cfg.Lease + cfg.Hold
+	l.quarantine = now + cfg.Lease + cfg.MaxRequestTime
 	return l
 }
 
@@ -103,7 +103,7 @@
 	if !l.On() || l.Quarantined(now) {
 		return out
 	}
-	until := now + l.cfg.Lease + max(l.cfg.Hold, a.MaxRequestTime)
+	until := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, a.MaxRequestTime)
 	p := l.divide(now, a, stocks)
 	for _, id := range a.Renew {
 		k := key{a.Borrower, a.Incarnation, id}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -51,7 +51,7 @@
 
 func ledger() *Ledger[Idle] {
 	return New(Settings{
-		Self: "b", Zone: "z2", Incarnation: 7, Lease: 1000, Hold: 5000,
+		Self: "b", Zone: "z2", Incarnation: 7, Lease: 1000, MaxRequestTime: 5000,
 		Entries: []model.Member{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z2"}},
 	}, Idle{}, 0)
 }
@@ -107,7 +107,7 @@
 	assert.Equal(t, l.Room(150, "p"), 0)
 	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Ask.Number)})
 
-	a := New(Settings{Self: "a", Lease: 1000, Hold: 5000}, Idle{}, 0)
+	a := New(Settings{Self: "a", Lease: 1000, MaxRequestTime: 5000}, Idle{}, 0)
 	granted := a.Grant(0, o.Ask, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -126,7 +126,7 @@
 	l.number++
 	return LoanRequest{
 		Borrower: l.cfg.Self, Incarnation: l.cfg.Incarnation, Number: l.number,
-		Pool: p, Slots: slots, MaxRequestTime: l.cfg.Hold,
+		Pool: p, Slots: slots, MaxRequestTime: l.cfg.MaxRequestTime,
 	}
 }
 
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -110,8 +110,8 @@
 	// Lease is the length of a lease; 0 turns lending off. It must not be
 	// lowered while loans of a run before are out.
 	Lease clock.Millis
-	// Hold is the longest time that a request lasts.
-	Hold clock.Millis
+	// MaxRequestTime is the longest time that a request lasts.
+	MaxRequestTime clock.Millis
 	// ReservePercent is the part of the own slots that is never lent.
 	ReservePercent int
 }
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -107,7 +107,7 @@
 	p.runs = nil
 	p.ledger = lend.New(lend.Settings{
 		Self: p.member.Name, Zone: p.member.Zone, Entries: all, Incarnation: p.number,
-		Lease: lease, Hold: hold, ReservePercent: 25,
+		Lease: lease, MaxRequestTime: hold, ReservePercent: 25,
 	}, eager{}, w.at(p))
 	rank := int(p.member.Name[1] - '1')
 	p.router = route.New(route.Settings{Zone: p.member.Zone, Rank: rank, Count: 2, Lending: true, ReservePercent: 25}, route.LeastLoaded{})
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -101,7 +101,7 @@
 		Ring: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events, Orders: orders,
 		Lending: lend.Settings{
 			Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries, Incarnation: incarnation,
-			Lease: cfg.Lending.LeaseMillis, Hold: cfg.Limits.MaxTimeoutMillis,
+			Lease: cfg.Lending.LeaseMillis, MaxRequestTime: cfg.Limits.MaxTimeoutMillis,
 			ReservePercent: cfg.Lending.ReservePercent,
 		},
 	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
