--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -51,7 +51,7 @@
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
 			Incarnation: u.Incarnation, HealthPath: u.HealthPath, Slots: u.Slots,
 		},
-		Lendable: u.Lendable, PerSlot: u.PerSlot, Peak: max(u.Peak, u.Past), Running: u.Running,
+		Lendable: u.Lendable, PerSlot: u.PerSlot, Peak: max(u.Peak, u.PreviousPeak), Running: u.Running,
 		Lent: u.Lent, Waiting: waiting,
 	}
 }
@@ -59,6 +59,6 @@
 // Roll begins a new time span for the peaks of all upstreams.
 func (r *Router[P]) Roll() {
 	for _, u := range r.upstreams {
-		u.Past, u.Peak = u.Peak, u.Running
+		u.PreviousPeak, u.Peak = u.Peak, u.Running
 	}
 }
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -47,8 +47,8 @@
 	// release like requests in flight.
 	Lent int
 	// Peak is the largest number of requests in flight since the last Roll, and
-	// Past that of the time before it.
-	Peak, Past int
+	// PreviousPeak that of the time before it.
+	Peak, PreviousPeak int
 	// Running is the number of requests in flight, of all generations.
 	Running int
 	// Generation grows each time the instance is released from a pool.
