--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -45,7 +45,7 @@
 	first, second := orders(p, "w1"), orders(p, "w2")
 	r.now += 300
 	failed := first.Starts[0]
-	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, How: jobs.ResultFailed, Saved: "s1"})
+	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Saved: "s1"})
 	r.hear("w2", 1, runningOf(second))
 	p = r.Pass(r.now)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
@@ -109,9 +109,9 @@
 			}
 			// Two tasks fail in the first run, one of the other worker in the second.
 			if (attempt == 0) == (id == "w1") {
-				ends[0].How = jobs.ResultFailed
+				ends[0].Result = jobs.ResultFailed
 				if attempt == 0 {
-					ends[1].How = jobs.ResultFailed
+					ends[1].Result = jobs.ResultFailed
 				}
 			}
 			r.now += 100
@@ -146,7 +146,7 @@
 		var ends []End
 		if len(running) > 0 {
 			number++
-			ends = append(ends, End{Number: number, Task: running[0].Task, Run: running[0].Run, How: jobs.ResultDone})
+			ends = append(ends, End{Number: number, Task: running[0].Task, Run: running[0].Run, Result: jobs.ResultDone})
 			running = running[1:]
 		}
 		r.hear("w1", 1, running, ends...)
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -167,7 +167,7 @@
 	slices.SortFunc(ids, func(a, b jobs.TaskID) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
 	for _, id := range ids {
 		w.number++
-		w.ends = append(w.ends, End{Number: w.number, Task: id, Run: w.runs[id].run, How: jobs.ResultDone})
+		w.ends = append(w.ends, End{Number: w.number, Task: id, Run: w.runs[id].run, Result: jobs.ResultDone})
 		delete(w.runs, id)
 		w.next = min(w.next, now+50)
 	}
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -195,7 +195,7 @@
 func endsOf(o Orders, how jobs.Result) []End {
 	var out []End
 	for n, s := range o.Starts {
-		out = append(out, End{Number: int64(n + 1), Task: s.Task, Run: s.Run, How: how})
+		out = append(out, End{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: how})
 	}
 	return out
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -73,7 +73,7 @@
 	Number int64
 	Task   jobs.TaskID
 	Run    int
-	How    jobs.Result
+	Result jobs.Result
 	Saved  string
 }
 
