--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -105,7 +105,7 @@
 		if r == nil || r.number != e.Run {
 			continue
 		}
-		b.end(w, r, e.Result, e.Saved, now)
+		b.end(w, r, e.Result, e.Checkpoint, now)
 	}
 	return ack
 }
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -45,7 +45,7 @@
 	first, second := orders(p, "w1"), orders(p, "w2")
 	r.now += 300
 	failed := first.Starts[0]
-	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Saved: "s1"})
+	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Checkpoint: "s1"})
 	r.hear("w2", 1, runningOf(second))
 	p = r.Pass(r.now)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -70,11 +70,11 @@
 // End is the end of a run.
 type End struct {
 	// Number counts the ends of one life of a worker from 1.
-	Number int64
-	Task   jobs.TaskID
-	Run    int
-	Result jobs.Result
-	Saved  string
+	Number     int64
+	Task       jobs.TaskID
+	Run        int
+	Result     jobs.Result
+	Checkpoint string
 }
 
 // Beat is a heartbeat of a worker.
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -320,7 +320,7 @@
 
 func (x *instance) end(t jobs.TaskID, r *simRun, how jobs.Result) {
 	x.number++
-	x.ends = append(x.ends, End{Number: x.number, Task: t, Run: r.run, Result: how, Saved: fmt.Sprint("s", r.run, "-", t.Index)})
+	x.ends = append(x.ends, End{Number: x.number, Task: t, Run: r.run, Result: how, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
 	x.closed[t] = max(x.closed[t], r.run)
 	delete(x.runs, t)
 }
