--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -80,7 +80,7 @@
 	o := nextOrder(orders, lend.MessageRequest)
 	assert.Equal(t, o.To, model.Process("e1"))
 	d.Answered(o, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
-		{ID: lend.ID(o.Ask.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
+		{ID: lend.ID(o.Request.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -146,7 +146,7 @@
 	asked := d.clock.Now()
 	switch o.Kind {
 	case lend.MessageRequest:
-		a, err := d.peers.Lend(ctx, to, o.Ask)
+		a, err := d.peers.Lend(ctx, to, o.Request)
 		d.book.Answered(o, asked, a, err == nil)
 	case lend.MessageReturn:
 		d.book.Returned(o, d.peers.Return(ctx, to, o.Return) == nil)
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -47,7 +47,7 @@
 	switch {
 	case !ok:
 		f.told <- string(o.To) + " unanswered"
-	case asked > 0 && a.Incarnation == o.Ask.Number:
+	case asked > 0 && a.Incarnation == o.Request.Number:
 		f.told <- string(o.To) + " answered"
 	}
 }
@@ -89,7 +89,7 @@
 		in.TryPut(o)
 		expect(want)
 	}
-	next(lend.Message{Kind: lend.MessageRequest, To: "a", Ask: lend.LoanRequest{Number: 4}}, "a answered")
+	next(lend.Message{Kind: lend.MessageRequest, To: "a", Request: lend.LoanRequest{Number: 4}}, "a answered")
 	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a returned")
 	f.open = closeTries + 1
 	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -182,7 +182,7 @@
 // answer, ok is false: the lender may have granted loans, which are then
 // returned unused.
 func (l *Ledger[P]) Answered(now clock.Millis, o Message, asked clock.Millis, a LoanResponse, ok bool) {
-	to, s := l.lenders[o.To], l.purse(o.Ask.Pool)
+	to, s := l.lenders[o.To], l.purse(o.Request.Pool)
 	to.busy = false
 	if !ok {
 		to.again = now + retryAfter/2
@@ -190,18 +190,18 @@
 	// The answer of a run before the last recall is void as well.
 	void := !ok || to.incarnation != 0 && to.incarnation != a.Incarnation
 	end := asked + a.Lease - a.Lease/marginPart
-	for _, id := range o.Ask.Renew {
+	for _, id := range o.Request.Renew {
 		l.renewed(now, id, end, a, ok, void)
 	}
-	if o.Ask.Slots == 0 {
+	if o.Request.Slots == 0 {
 		return
 	}
-	s.pending -= o.Ask.Slots
+	s.pending -= o.Request.Slots
 	if void {
 		to.faulty = now + refusedFor
 		// It stands for the loans that may have been granted.
 		l.hold(&HeldLoan{
-			Loan: Loan{ID: askID(o.Ask.Number), Pool: o.Ask.Pool}, Lender: o.To, ended: true,
+			Loan: Loan{ID: askID(o.Request.Number), Pool: o.Request.Pool}, Lender: o.To, ended: true,
 			forget: now + l.cfg.Lease + l.cfg.MaxRequestTime,
 		})
 	}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -72,7 +72,7 @@
 }
 
 func answer(run uint64, o Message) LoanResponse {
-	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Ask.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
+	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Request.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
 // Guards against use after the lease, which counts from the ask, and against a
@@ -86,8 +86,8 @@
 	_, ok = l.Take(1000, "p", "")
 	assert.Assert(t, !ok)
 	o = plan(t, l, 600, nil)
-	assert.DeepEqual(t, o.Ask.Renew, []ID{h.ID})
-	l.Answered(620, o, 600, LoanResponse{Incarnation: 1, Lease: 1000, Renewed: o.Ask.Renew}, true)
+	assert.DeepEqual(t, o.Request.Renew, []ID{h.ID})
+	l.Answered(620, o, 600, LoanResponse{Incarnation: 1, Lease: 1000, Renewed: o.Request.Renew}, true)
 	assert.Equal(t, l.Room(1499, "p"), 2)
 	l.Put(700, h, false, false)
 	o = plan(t, l, 1700, nil)
@@ -105,13 +105,13 @@
 	assert.Assert(t, l.Recalled(Recall{Lender: "a", Incarnation: 2}))
 	l.Answered(150, o, 100, answer(1, o), true)
 	assert.Equal(t, l.Room(150, "p"), 0)
-	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Ask.Number)})
+	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Request.Number)})
 
 	a := New(Settings{Self: "a", Lease: 1000, MaxRequestTime: 5000}, Idle{}, 0)
-	granted := a.Grant(0, o.Ask, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
+	granted := a.Grant(0, o.Request, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
-	a.TakeBack(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Ask.Number)}})
+	a.TakeBack(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Request.Number)}})
 	assert.Equal(t, a.Lent("i"), 0)
 }
 
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -114,10 +114,10 @@
 			to.busy = true
 			i = len(buf)
 			at[h.Lender] = i
-			buf = append(buf, Message{Kind: MessageRequest, To: h.Lender, Ask: l.newAsk(h.Pool, 0)})
+			buf = append(buf, Message{Kind: MessageRequest, To: h.Lender, Request: l.newAsk(h.Pool, 0)})
 		}
 		h.asked = true
-		buf[i].Ask.Renew = append(buf[i].Ask.Renew, h.ID)
+		buf[i].Request.Renew = append(buf[i].Request.Renew, h.ID)
 	}
 	return buf
 }
@@ -152,7 +152,7 @@
 	want = min(want, maxSlots)
 	s.pending += want
 	l.Counts.Asked++
-	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Ask: l.newAsk(n.Pool, want)})
+	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Request: l.newAsk(n.Pool, want)})
 }
 
 // choose returns the process to ask: one of the own zone if any, and among
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -90,11 +90,11 @@
 // Message is a message that the ledger wants to be sent. Its result is told by
 // Answered, Returned or Acknowledged.
 type Message struct {
-	Kind   MessageKind
-	To     model.Process
-	Ask    LoanRequest
-	Return Return
-	Recall Recall
+	Kind    MessageKind
+	To      model.Process
+	Request LoanRequest
+	Return  Return
+	Recall  Recall
 	// Close names the connections to be closed before the message is sent.
 	Close []string
 }
