--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -91,5 +91,5 @@
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	assert.DeepEqual(t, nextOrder(orders, lend.MessageReturn).Close, []string{g.Upstream.Loan})
+	assert.DeepEqual(t, nextOrder(orders, lend.MessageReturn).CloseConnections, []string{g.Upstream.Loan})
 }
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -135,7 +135,7 @@
 
 // carry sends one order and tells the book how it ended.
 func (d *Lender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Message) {
-	if !d.closed(o.Close) {
+	if !d.closed(o.CloseConnections) {
 		d.fail(o)
 		return
 	}
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/lender_test.go
@@ -90,9 +90,9 @@
 		expect(want)
 	}
 	next(lend.Message{Kind: lend.MessageRequest, To: "a", Request: lend.LoanRequest{Number: 4}}, "a answered")
-	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a returned")
+	next(lend.Message{Kind: lend.MessageReturn, To: "a", CloseConnections: []string{"i#1"}}, "a returned")
 	f.open = closeTries + 1
-	next(lend.Message{Kind: lend.MessageReturn, To: "a", Close: []string{"i#1"}}, "a not returned")
+	next(lend.Message{Kind: lend.MessageReturn, To: "a", CloseConnections: []string{"i#1"}}, "a not returned")
 	next(lend.Message{Kind: lend.MessageRequest, To: "unknown"}, "unknown unanswered")
 	in.TryPut(lend.Message{Kind: lend.MessageRecall, To: "gone"})
 	next(lend.Message{Kind: lend.MessageRecall, To: "a"}, "a acknowledged")
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -95,8 +95,8 @@
 	Request LoanRequest
 	Return  Return
 	Recall  Recall
-	// Close names the connections to be closed before the message is sent.
-	Close []string
+	// CloseConnections names the connections to be closed before the message is sent.
+	CloseConnections []string
 }
 
 // Settings of a ledger.
