--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -108,7 +108,7 @@
 	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Request.Number)})
 
 	a := New(Settings{Self: "a", Lease: 1000, MaxRequestTime: 5000}, Idle{}, 0)
-	granted := a.Grant(0, o.Request, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
+	granted := a.Grant(0, o.Request, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, ConnectionsPerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
 	a.TakeBack(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Request.Number)}})
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -19,8 +19,8 @@
 	Loan
 	// Slots of the Loan is this process's share; Lendable is the part of it
 	// that may be lent, and PerSlot the connections that go with a lent slot.
-	Lendable int
-	PerSlot  int
+	Lendable           int
+	ConnectionsPerSlot int
 	// Peak is the largest number of own requests at once in the last seconds.
 	Peak int
 	// Running is the number of own requests in flight; at most Peak.
