--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -41,7 +41,7 @@
 	} {
 		assert.Equal(t, Idle{}.Want(c.p), c.want, "%+v", c.p)
 	}
-	s := UpstreamSlots{Loan: Loan{Slots: 4}, Lendable: 3, Peak: 2}
+	s := UpstreamSlots{Loan: Loan{Slots: 4}, Lendable: 3, PeakRunning: 2}
 	assert.Equal(t, Idle{}.Give(s), 2)
 	s.Lent = 1
 	assert.Equal(t, Idle{}.Give(s), 1)
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -21,8 +21,8 @@
 	// that may be lent, and PerSlot the connections that go with a lent slot.
 	Lendable           int
 	ConnectionsPerSlot int
-	// Peak is the largest number of own requests at once in the last seconds.
-	Peak int
+	// PeakRunning is the largest number of own requests at once in the last seconds.
+	PeakRunning int
 	// Running is the number of own requests in flight; at most Peak.
 	Running int
 	// Lent is the number of slots lent already.
@@ -88,7 +88,7 @@
 	if s.Waiting > 0 {
 		return 0
 	}
-	return min(s.Lendable, s.Slots-s.Peak) - s.Lent
+	return min(s.Lendable, s.Slots-s.PeakRunning) - s.Lent
 }
 
 // Keep gives a loan back that was idle for one lease, so that a short pause
