--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -78,7 +78,7 @@
 	d := min(ejectBase<<min(u.Ejections, 10), ejectMost)
 	u.Ejections++
 	u.EjectedUntil = now + d
-	u.Since = u.EjectedUntil
+	u.RoutableSince = u.EjectedUntil
 	u.Returning = true
 	if !slices.Contains(r.ejected, u) {
 		r.ejected = append(r.ejected, u)
@@ -105,6 +105,6 @@
 		if next == nil || in >= (len(g.members)+1)/2 {
 			return
 		}
-		next.EjectedUntil, next.Since = now, now
+		next.EjectedUntil, next.RoutableSince = now, now
 	}
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -102,7 +102,7 @@
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.member.Incarnation {
 		// A new process starts with a clean record and a slow start.
-		u.Score, u.EjectedUntil, u.Ejections, u.Returning, u.Since = 0, 0, 0, false, now
+		u.Score, u.EjectedUntil, u.Ejections, u.Returning, u.RoutableSince = 0, 0, 0, false, now
 	}
 	u.member, u.live = a, live
 	r.refresh(now, u)
@@ -141,7 +141,7 @@
 		r.leave(now, u)
 		u.Pool = pool
 		if pool != "" {
-			u.Since = now
+			u.RoutableSince = now
 			g := r.group(pool)
 			g.members = append(g.members, u)
 			g.keepFloor(now)
@@ -261,7 +261,7 @@
 // after a start of this process, nobody is held back.
 func (g *group) warm(now clock.Millis) bool {
 	for _, u := range g.members {
-		if now-u.Since >= SlowStart && !u.Ejected(now) {
+		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
 			return true
 		}
 	}
@@ -277,7 +277,7 @@
 	if r.LoansUncertain {
 		slots = u.Slots - max(u.Lendable, u.Lent)
 	}
-	age := max(now-u.Since, 0)
+	age := max(now-u.RoutableSince, 0)
 	if !warm || age >= SlowStart || slots <= 0 {
 		return max(slots, 0)
 	}
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -58,8 +58,8 @@
 	// BlockedRelease is the table version of the release that Old requests or Lent
 	// slots hold up; 0 when both are 0.
 	BlockedRelease model.Version
-	// Since is the time at which the upstream became routable.
-	Since clock.Millis
+	// RoutableSince is the time at which the upstream became routable.
+	RoutableSince clock.Millis
 	// Score is the smoothed share of failures, from 0 to 1.
 	Score float64
 	// EjectedUntil is in the future while the upstream is ejected.
