--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -32,8 +32,8 @@
 // learn updates the score of an upstream and ejects it when it fails against
 // its peers.
 func (r *Router[P]) learn(now clock.Millis, u *Upstream, o Outcome) bool {
-	if u.Returning && !u.Ejected(now) {
-		u.Returning, u.Score = false, returnScore
+	if u.ScoreResetPending && !u.Ejected(now) {
+		u.ScoreResetPending, u.Score = false, returnScore
 	}
 	switch o {
 	case OutcomeCancelled, OutcomeBusy:
@@ -79,7 +79,7 @@
 	u.Ejections++
 	u.EjectedUntil = now + d
 	u.RoutableSince = u.EjectedUntil
-	u.Returning = true
+	u.ScoreResetPending = true
 	if !slices.Contains(r.ejected, u) {
 		r.ejected = append(r.ejected, u)
 	}
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -64,9 +64,9 @@
 	Score float64
 	// EjectedUntil is in the future while the upstream is ejected.
 	EjectedUntil clock.Millis
-	// Returning says that Score is still that of the ejection, for comparison
+	// ScoreResetPending says that Score is still that of the ejection, for comparison
 	// with peers; it is lowered with the first outcome afterwards.
-	Returning bool
+	ScoreResetPending bool
 	// Ejections is the number of ejections in a row; it sets their length.
 	Ejections int
 	// entry, member and lapsed are the inputs of routable.
