--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -51,7 +51,7 @@
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
 			Incarnation: u.Incarnation, HealthPath: u.HealthPath, Slots: u.Slots,
 		},
-		Lendable: u.Lendable, ConnectionsPerSlot: u.PerSlot, PeakRunning: max(u.Peak, u.PreviousPeak), Running: u.Running,
+		Lendable: u.Lendable, ConnectionsPerSlot: u.ConnectionsPerSlot, PeakRunning: max(u.Peak, u.PreviousPeak), Running: u.Running,
 		Lent: u.Lent, Waiting: waiting,
 	}
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -133,7 +133,7 @@
 func (r *Router[P]) refresh(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
 	if r.cfg.Lending {
-		u.Connections, u.Lendable, u.PerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
+		u.Connections, u.Lendable, u.ConnectionsPerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
 	}
 	u.Address, u.Incarnation, u.HealthPath = u.member.Address, u.member.Incarnation, u.member.HealthPath
 	pool := u.routable(r.cfg.Zone)
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -41,8 +41,8 @@
 	// Lendable is the part of Slots that may be lent, and PerSlot the number of
 	// connections, apart from Connections, that go with each of them. Both are 0
 	// while lending is off.
-	Lendable int
-	PerSlot  int
+	Lendable           int
+	ConnectionsPerSlot int
 	// Lent is the number of own slots that others may use; it holds up a
 	// release like requests in flight.
 	Lent int
