--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -251,7 +251,7 @@
 
 func (b *Board[O, J]) startOf(w *worker, r *run) Start {
 	ticket, _ := b.ticket(w, keyOf(r.task), b.now)
-	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Saved: r.rec.Task(r.task).Checkpoint, Ticket: ticket}
+	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Checkpoint: r.rec.Task(r.task).Checkpoint, Ticket: ticket}
 }
 
 // stop orders the end of a run with the next answer to its worker.
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -59,7 +59,7 @@
 	assert.Equal(t, len(starts), 6)
 	for _, s := range starts {
 		assert.Equal(t, s.Run, 2)
-		assert.Equal(t, s.Saved, "s1")
+		assert.Equal(t, s.Checkpoint, "s1")
 	}
 }
 
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -103,10 +103,10 @@
 
 // Start tells a worker to run a task.
 type Start struct {
-	Task  jobs.TaskID
-	Run   int
-	Spec  string
-	Saved string
+	Task       jobs.TaskID
+	Run        int
+	Spec       string
+	Checkpoint string
 	// Ticket is the leave of the advice service; empty for a queue without
 	// advice.
 	Ticket string
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -340,7 +340,7 @@
 	}
 	w.checkStart(x, s)
 	takes := clock.Millis(100 + w.r.IntN(900))
-	x.runs[s.Task] = &simRun{run: s.Run, began: w.now, takes: takes, fails: x.bad || w.r.IntN(25) == 0, saved: s.Saved}
+	x.runs[s.Task] = &simRun{run: s.Run, began: w.now, takes: takes, fails: x.bad || w.r.IntN(25) == 0, saved: s.Checkpoint}
 	w.checkGang(x, s)
 }
 
@@ -355,8 +355,8 @@
 			if t.Job != s.Task.Job || t.Occurrence != s.Task.Occurrence || t.Step != s.Task.Step {
 				continue
 			}
-			if r.run == s.Run && r.saved != s.Saved {
-				w.failf("task %v starts from %q and %v of its gang from %q", s.Task, s.Saved, t, r.saved)
+			if r.run == s.Run && r.saved != s.Checkpoint {
+				w.failf("task %v starts from %q and %v of its gang from %q", s.Task, s.Checkpoint, t, r.saved)
 			}
 			if r.run > s.Run {
 				w.failf("task %v starts run %d on %s beside run %d of %v", s.Task, s.Run, x.id, r.run, t)
