--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -127,8 +127,8 @@
 
 // Orders answer a heartbeat.
 type Orders struct {
-	Worker jobs.WorkerID
-	Life   jobs.Incarnation
+	Worker      jobs.WorkerID
+	Incarnation jobs.Incarnation
 	// AckUpTo is the number of the last end that is taken note of.
 	AckUpTo int64
 	Starts  []Start
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -233,7 +233,7 @@
 	}
 	for _, o := range p.Orders {
 		for _, x := range w.workers {
-			if x.id != o.Worker || x.life != o.Life || x.taker != l || x.sent == 0 {
+			if x.id != o.Worker || x.life != o.Incarnation || x.taker != l || x.sent == 0 {
 				continue
 			}
 			hold := w.set.LeaseMillis - max(0, x.sent-l.confirmed)
