--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -60,7 +60,7 @@
 		}
 		answers++
 		if answers%3 != 0 {
-			for _, x := range p.Orders[0].Rates {
+			for _, x := range p.Orders[0].Throttles {
 				assert.Equal(t, x.Task.Job, jobs.ID("fill"))
 				pace = x.Percent
 			}
@@ -89,7 +89,7 @@
 	}
 	r.now += paceMillis
 	r.hear("w1", 1, running)
-	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Rates), 0)
+	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Throttles), 0)
 }
 
 // TestNewLeaderSetsPace guards against a filler that stays slow for good because
@@ -101,14 +101,14 @@
 	}
 	r.now += paceMillis
 	r.hear("w1", 1, running)
-	assert.Assert(t, orders(r.Pass(r.now), "w1").Rates[0].Percent < 100)
+	assert.Assert(t, orders(r.Pass(r.now), "w1").Throttles[0].Percent < 100)
 	next := &rig{testBoard: NewBoard(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	for i := range running {
 		running[i].Load = int(target) / 4
 	}
 	next.hear("w1", 1, running)
 	next.now += next.set.HoldMillis
-	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Rates, []Rate{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
+	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Throttles, []Rate{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
 }
 
 // TestSlowFillerIsNotStopped guards against a filler that is started anew again
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		b.out.Orders = append(b.out.Orders, Orders{
-			Worker: w.id, Incarnation: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Rates: w.beat.rates,
+			Worker: w.id, Incarnation: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Throttles: w.beat.rates,
 			Retry: b.retry(w, now), Lease: true,
 		})
 		w.beat = nil
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -130,10 +130,10 @@
 	Worker      jobs.WorkerID
 	Incarnation jobs.Incarnation
 	// AckUpTo is the number of the last end that is taken note of.
-	AckUpTo int64
-	Starts  []Start
-	Stops   []Stop
-	Rates   []Rate
+	AckUpTo   int64
+	Starts    []Start
+	Stops     []Stop
+	Throttles []Rate
 	// Retry is the pause until the next heartbeat.
 	Retry clock.Millis
 	// Lease is false for a worker that may no longer run anything.
