--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -187,7 +187,7 @@
 }
 
 func (w *loadWorker) obey(o Orders, now clock.Millis, takes map[jobs.ID]arrival) {
-	w.waits, w.next = false, now+o.Retry
+	w.waits, w.next = false, now+o.RetryAfter
 	w.ends = slices.DeleteFunc(w.ends, func(e End) bool { return e.Number <= o.AckUpTo })
 	for _, s := range o.Starts {
 		w.runs[s.Task] = loadRun{run: s.Run, began: now, due: now + takes[s.Task.Job].takes}
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -65,7 +65,7 @@
 				pace = x.Percent
 			}
 		}
-		r.now += p.Orders[0].Retry
+		r.now += p.Orders[0].RetryAfter
 		work += (r.now - before) * clock.Millis(pace) / 100
 		if over += r.now - before; clock.Millis(tail) <= target {
 			over = 0
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -134,8 +134,8 @@
 	Starts    []Start
 	Stops     []Stop
 	Throttles []Rate
-	// Retry is the pause until the next heartbeat.
-	Retry clock.Millis
+	// RetryAfter is the pause until the next heartbeat.
+	RetryAfter clock.Millis
 	// Lease is false for a worker that may no longer run anything.
 	Lease bool
 }
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -299,7 +299,7 @@
 
 func (w *world) obey(a answer) {
 	x := a.to
-	x.sent, x.next = 0, w.now+a.orders.Retry
+	x.sent, x.next = 0, w.now+a.orders.RetryAfter
 	if a.token < x.token {
 		return
 	}
