--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -26,8 +26,8 @@
 type HeldLoan struct {
 	Loan
 	Lender model.Process
-	// Until is the time from which no request starts.
-	Until clock.Millis
+	// UsableUntil is the time from which no request starts.
+	UsableUntil clock.Millis
 	// Running is the number of requests in flight; at most Slots.
 	Running int
 	// ended says that no request starts any more; it never goes back.
@@ -88,7 +88,7 @@
 	// The first with room is filled up, so that loans that are not needed
 	// become idle.
 	for _, h := range s.loans {
-		if h.ended || h.Running >= h.Slots || now >= h.Until || h.Instance == avoid {
+		if h.ended || h.Running >= h.Slots || now >= h.UsableUntil || h.Instance == avoid {
 			continue
 		}
 		h.Running++
@@ -122,7 +122,7 @@
 	n := 0
 	if s := l.pools[p]; s != nil {
 		for _, h := range s.loans {
-			if !h.ended && now < h.Until {
+			if !h.ended && now < h.UsableUntil {
 				n += h.Slots
 			}
 		}
@@ -213,7 +213,7 @@
 	for _, loan := range a.Loans {
 		l.Counts.Taken++
 		l.hold(&HeldLoan{
-			Loan: loan, Lender: o.To, Until: end, used: now, lenderRun: a.Incarnation,
+			Loan: loan, Lender: o.To, UsableUntil: end, used: now, lenderRun: a.Incarnation,
 			forget: now + a.Lease + l.cfg.MaxRequestTime,
 		})
 	}
@@ -232,7 +232,7 @@
 	case void || !slices.Contains(a.Renewed, id):
 		h.ended = true
 	default:
-		h.Until = max(h.Until, end)
+		h.UsableUntil = max(h.UsableUntil, end)
 		h.forget = max(h.forget, now+a.Lease+l.cfg.MaxRequestTime)
 	}
 }
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -49,7 +49,7 @@
 // their lenders have given up.
 func (l *Ledger[P]) age(now clock.Millis) {
 	for _, h := range l.held {
-		if now >= h.Until || h.Running == 0 && !l.policy.Keep(now-h.used, l.cfg.Lease) {
+		if now >= h.UsableUntil || h.Running == 0 && !l.policy.Keep(now-h.used, l.cfg.Lease) {
 			h.ended = true
 		}
 		if h.ended && h.Running == 0 && now >= h.forget {
@@ -102,7 +102,7 @@
 func (l *Ledger[P]) renewals(now clock.Millis, buf []Message) []Message {
 	at := map[model.Process]int{}
 	for _, h := range l.held {
-		if h.ended || h.asked || h.Until-now > l.cfg.Lease/2 {
+		if h.ended || h.asked || h.UsableUntil-now > l.cfg.Lease/2 {
 			continue
 		}
 		i, begun := at[h.Lender]
