--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Acquire waits for the right to send a request. Exactly one of the results is
+// Ask waits for the right to send a request. Exactly one of the results is
 // set. A refused request has not run; the holder of a grant must call Done.
-func (d *Dispatcher[P, Q, L]) Acquire(ctx context.Context, r Request) (Grant, *Refusal) {
+func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
 	a := d.asks.Get().(*ask)
 	a.request = r
 	if !d.in.TryPut(message{kind: messageAsk, ask: a}) {
--- a/io/trans/roles/timing.go
+++ b/io/trans/roles/timing.go
@@ -26,7 +26,7 @@
 // Ask measures the time until a request is granted or refused, in ms.
 func (t *timed) Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
 	began := t.clock.Now()
-	g, f := t.dispatcher.Acquire(ctx, r)
+	g, f := t.dispatcher.Ask(ctx, r)
 	t.wait.Update(int64(t.clock.Now() - began))
 	return g, f
 }
