--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -41,7 +41,7 @@
 	case OutcomeOK:
 		u.Score -= failWeight * u.Score
 		if now-u.EjectedUntil > forgiveAfter {
-			u.Ejections = 0
+			u.ConsecutiveEjections = 0
 		}
 		return false
 	case OutcomeConnect:
@@ -75,8 +75,8 @@
 	if u.Score <= 2*peers/float64(len(g.members)-1)+peerMargin {
 		return false
 	}
-	d := min(ejectBase<<min(u.Ejections, 10), ejectMost)
-	u.Ejections++
+	d := min(ejectBase<<min(u.ConsecutiveEjections, 10), ejectMost)
+	u.ConsecutiveEjections++
 	u.EjectedUntil = now + d
 	u.RoutableSince = u.EjectedUntil
 	u.ScoreResetPending = true
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -102,7 +102,7 @@
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.member.Incarnation {
 		// A new process starts with a clean record and a slow start.
-		u.Score, u.EjectedUntil, u.Ejections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
+		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
 	}
 	u.member, u.live = a, live
 	r.refresh(now, u)
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -67,8 +67,8 @@
 	// ScoreResetPending says that Score is still that of the ejection, for comparison
 	// with peers; it is lowered with the first outcome afterwards.
 	ScoreResetPending bool
-	// Ejections is the number of ejections in a row; it sets their length.
-	Ejections int
+	// ConsecutiveEjections is the number of ejections in a row; it sets their length.
+	ConsecutiveEjections int
 	// entry, member and lapsed are the inputs of routable.
 	entry  model.Instance
 	known  bool
