--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -231,7 +231,7 @@
 		return nil
 	}
 	a := h.Announcement
-	d.router.SetMember(now, a, true)
+	d.router.SetAnnouncement(now, a, true)
 	e := model.Event{Kind: model.EventUpstreamUp, Instance: a.Instance, Pool: a.Pool, Detail: a.Address}
 	if a.State == model.AnnounceLeaving {
 		e.Kind = model.EventUpstreamLeft
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -220,7 +220,7 @@
 func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
 	d.lapsed = d.roster.Lapse(now, d.lapsed[:0])
 	for _, r := range d.lapsed {
-		d.router.SetMember(now, r.Announcement, false)
+		d.router.SetAnnouncement(now, r.Announcement, false)
 		d.event(model.Event{Kind: model.EventUpstreamGone, Instance: r.Announcement.Instance, Pool: r.Announcement.Pool, Limit: "lease"})
 	}
 	d.back = d.router.Restored(now, d.back[:0])
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -115,7 +115,7 @@
 	w.read(p)
 	for _, i := range w.table {
 		if p.member.Zone == i.Zone {
-			p.router.SetMember(w.at(p), model.Announcement{
+			p.router.SetAnnouncement(w.at(p), model.Announcement{
 				Instance: i.ID, Zone: i.Zone, Pool: "p", Address: "10.0.0.1:1", Slots: slots, Connections: 64, Incarnation: 1,
 			}, true)
 		}
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -25,7 +25,7 @@
 	for i := range n {
 		id := model.InstanceID(fmt.Sprint("i", i))
 		r.SetInstance(0, entryOf(id, 1), 0)
-		r.SetMember(0, announced(id, 1), true)
+		r.SetAnnouncement(0, announced(id, 1), true)
 	}
 	return r
 }
@@ -44,7 +44,7 @@
 			i, a := entryOf("i", 1), announced("i", 1)
 			i.Slots, i.Connections, a.Slots = slots, conns, rapid.IntRange(1, 64).Draw(t, "announced")
 			r.SetInstance(0, i, 0)
-			r.SetMember(0, a, true)
+			r.SetAnnouncement(0, a, true)
 			for {
 				h, ok := r.Pick(start, "p", "")
 				if !ok {
@@ -80,13 +80,13 @@
 		assert.Assert(t, ok)
 		change(&i, &a, &live)
 		r.SetInstance(start, i, 1)
-		r.SetMember(start, a, live)
+		r.SetAnnouncement(start, a, live)
 		for _, p := range []model.Pool{"p", "q"} {
 			_, ok = r.Pick(start, p, "")
 			assert.Assert(t, !ok, name)
 		}
 		r.SetInstance(start, entryOf("i0", 3), 2)
-		r.SetMember(start, announced("i0", 1), true)
+		r.SetAnnouncement(start, announced("i0", 1), true)
 		_, ok = r.Pick(start, "p", "")
 		assert.Assert(t, ok, "%s: it did not come back", name)
 	}
@@ -204,7 +204,7 @@
 					t.Skip()
 				}
 				live[i] = !live[i]
-				r.SetMember(now, announced(model.InstanceID(fmt.Sprint("i", i)), 1), live[i])
+				r.SetAnnouncement(now, announced(model.InstanceID(fmt.Sprint("i", i)), 1), live[i])
 			},
 			"time": func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "ms")) },
 			"": func(t *rapid.T) {
@@ -270,7 +270,7 @@
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	h, _ := r.Pick(start, "p", "i0")
-	r.SetMember(start, announced(h.Upstream.Instance, 2), true)
+	r.SetAnnouncement(start, announced(h.Upstream.Instance, 2), true)
 	assert.Assert(t, !r.End(start, h, OutcomeConnect))
 	assert.Equal(t, h.Upstream.Score, 0.0)
 	assert.Equal(t, h.Upstream.Running, 0)
@@ -282,7 +282,7 @@
 	r := pool(LeastLoaded{}, 2)
 	assert.Equal(t, r.Room(0, "p"), 16)
 	r.SetInstance(start, entryOf("new", 2), 1)
-	r.SetMember(start, announced("new", 1), true)
+	r.SetAnnouncement(start, announced("new", 1), true)
 	assert.Equal(t, r.Room(start, "p"), 17)
 	assert.Equal(t, r.Room(start+SlowStart/2, "p"), 20)
 	assert.Equal(t, r.Room(start+SlowStart, "p"), 24)
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -96,9 +96,9 @@
 	r.refresh(now, u)
 }
 
-// SetMember puts an announcement in force; live is false once its lease
+// SetAnnouncement puts an announcement in force; live is false once its lease
 // lapsed.
-func (r *Router[P]) SetMember(now clock.Millis, a model.Announcement, live bool) {
+func (r *Router[P]) SetAnnouncement(now clock.Millis, a model.Announcement, live bool) {
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.member.Incarnation {
 		// A new process starts with a clean record and a slow start.
