--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -411,7 +411,7 @@
 	}
 	for _, o := range b.orders {
 		lease := r.set.LeaseMillis - max(0, o.waiter.received-r.confirmed)
-		if !o.orders.Lease {
+		if !o.orders.LeaseGranted {
 			lease = 0
 		}
 		o.waiter.reply <- beatAnswer{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -239,7 +239,7 @@
 		}
 		b.out.Orders = append(b.out.Orders, Orders{
 			Worker: w.id, Incarnation: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Throttles: w.beat.rates,
-			RetryAfter: b.retry(w, now), Lease: true,
+			RetryAfter: b.retry(w, now), LeaseGranted: true,
 		})
 		w.beat = nil
 		delete(b.pool(w.pool).present, w.id)
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -136,8 +136,8 @@
 	Throttles []Rate
 	// RetryAfter is the pause until the next heartbeat.
 	RetryAfter clock.Millis
-	// Lease is false for a worker that may no longer run anything.
-	Lease bool
+	// LeaseGranted is false for a worker that may no longer run anything.
+	LeaseGranted bool
 }
 
 // ActionKind tells actions apart.
