--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -200,7 +200,7 @@
 
 // addStray counts a run that is not assigned to the worker: it takes room
 // until it has ended.
-func (b *Board[O, J]) addStray(w *worker, x Running) {
+func (b *Board[O, J]) addStray(w *worker, x RunStatus) {
 	s := stray{run: x.Run}
 	if r := b.State.Jobs[x.Task.Job]; r != nil && x.Task.Step >= 0 && x.Task.Step < len(r.Steps) {
 		s.need = counted(&r.Steps[x.Task.Step])
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -40,7 +40,7 @@
 		for i := range beats {
 			if beats[i].Worker == o.Worker {
 				for _, st := range o.Starts {
-					beats[i].Running = append(beats[i].Running, Running{Task: st.Task, Run: st.Run, Percent: 1})
+					beats[i].Running = append(beats[i].Running, RunStatus{Task: st.Task, Run: st.Run, Percent: 1})
 				}
 			}
 		}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -13,10 +13,10 @@
 var crew = jobs.Step{TaskCount: 6, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Checkpoints: true}
 
 // runningOf lists the runs that a worker was ordered to start.
-func runningOf(o Orders) []Running {
-	var out []Running
+func runningOf(o Orders) []RunStatus {
+	var out []RunStatus
 	for _, s := range o.Starts {
-		out = append(out, Running{Task: s.Task, Run: s.Run})
+		out = append(out, RunStatus{Task: s.Task, Run: s.Run})
 	}
 	return out
 }
@@ -154,7 +154,7 @@
 			if s.Task.Job == "g" {
 				return
 			}
-			running = append(running, Running{Task: s.Task, Run: s.Run, Percent: 50})
+			running = append(running, RunStatus{Task: s.Task, Run: s.Run, Percent: 50})
 		}
 	}
 	t.Fatal("the gang did not start")
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -181,7 +181,7 @@
 		Capacity: jobs.Resources{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
 	}
 	for id, r := range w.runs {
-		h.Running = append(h.Running, Running{Task: id, Run: r.run, Percent: 50})
+		h.Running = append(h.Running, RunStatus{Task: id, Run: r.run, Percent: 50})
 	}
 	return h
 }
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -17,7 +17,7 @@
 const target clock.Millis = 100
 
 // newPaceRig is a worker with a serving and a filling task at work.
-func newPaceRig(t *testing.T) (*rig, []Running) {
+func newPaceRig(t *testing.T) (*rig, []RunStatus) {
 	t.Helper()
 	r := newRig(Defaults())
 	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -93,7 +93,7 @@
 
 // hear passes a heartbeat of a worker with 16 processors, which runs what is
 // given.
-func (r *rig) hear(id string, life jobs.Incarnation, running []Running, ends ...End) {
+func (r *rig) hear(id string, life jobs.Incarnation, running []RunStatus, ends ...End) {
 	r.seq++
 	r.Beat(Beat{
 		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
@@ -234,7 +234,7 @@
 	r.now += r.set.QuietMillis + 100
 	for _, id := range []string{"w1", "w2"} {
 		s := orders(p, id).Starts[0]
-		r.hear(id, 1, []Running{{Task: s.Task, Run: s.Run, Percent: 100}})
+		r.hear(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
 	}
 	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, r.now)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 1)
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Running is a run that a worker lists.
-type Running struct {
+// RunStatus is a run that a worker lists.
+type RunStatus struct {
 	Task jobs.TaskID
 	Run  int
 	// Checkpoint is the latest checkpoint; empty for none.
@@ -95,7 +95,7 @@
 	Remaining clock.Millis
 	// Running and Ends are complete but for ends beyond a bound of the
 	// worker's, which follow once earlier ones are acknowledged.
-	Running []Running
+	Running []RunStatus
 	Ends    []End
 	// ReceivedAt is the steady time at which the leader got the heartbeat.
 	ReceivedAt clock.Millis
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -468,7 +468,7 @@
 		if x.stuck {
 			percent = 0
 		}
-		h.Running = append(h.Running, Running{Task: t, Run: r.run, Percent: min(percent, 99), Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+		h.Running = append(h.Running, RunStatus{Task: t, Run: r.run, Percent: min(percent, 99), Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
 		if w.committed.Jobs[t.Job].Steps[t.Step].LongRunning {
 			h.Running[len(h.Running)-1].Percent = 100
 		}
