--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -86,7 +86,7 @@
 	r.hear("w1", 1, nil)
 	o := orders(r.Pass(r.now), "w1")
 	r.now += 300
-	r.hear("w1", 1, nil, End{Number: 1, Task: o.Starts[0].Task, Run: 1, Result: jobs.ResultFailed})
+	r.hear("w1", 1, nil, RunEnd{Number: 1, Task: o.Starts[0].Task, Run: 1, Result: jobs.ResultFailed})
 	x, ok := r.Explain("a", r.now)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, x.Steps, []StepReport{{Tasks: 2, Running: 1, Waiting: 1, Runs: 2, Fails: 1, Limit: LimitHeartbeat}})
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -45,7 +45,7 @@
 	first, second := orders(p, "w1"), orders(p, "w2")
 	r.now += 300
 	failed := first.Starts[0]
-	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Checkpoint: "s1"})
+	r.hear("w1", 1, runningOf(first)[1:], RunEnd{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Checkpoint: "s1"})
 	r.hear("w2", 1, runningOf(second))
 	p = r.Pass(r.now)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
@@ -143,10 +143,10 @@
 		// A later job waits for each task that ends.
 		one := small
 		r.submit(fmt.Sprint("later", n), one)
-		var ends []End
+		var ends []RunEnd
 		if len(running) > 0 {
 			number++
-			ends = append(ends, End{Number: number, Task: running[0].Task, Run: running[0].Run, Result: jobs.ResultDone})
+			ends = append(ends, RunEnd{Number: number, Task: running[0].Task, Run: running[0].Run, Result: jobs.ResultDone})
 			running = running[1:]
 		}
 		r.hear("w1", 1, running, ends...)
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -107,7 +107,7 @@
 	// waits is set while a heartbeat has no answer.
 	waits  bool
 	runs   map[jobs.TaskID]loadRun
-	ends   []End
+	ends   []RunEnd
 	number int64
 }
 
@@ -167,7 +167,7 @@
 	slices.SortFunc(ids, func(a, b jobs.TaskID) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
 	for _, id := range ids {
 		w.number++
-		w.ends = append(w.ends, End{Number: w.number, Task: id, Run: w.runs[id].run, Result: jobs.ResultDone})
+		w.ends = append(w.ends, RunEnd{Number: w.number, Task: id, Run: w.runs[id].run, Result: jobs.ResultDone})
 		delete(w.runs, id)
 		w.next = min(w.next, now+50)
 	}
@@ -188,7 +188,7 @@
 
 func (w *loadWorker) obey(o Orders, now clock.Millis, takes map[jobs.ID]arrival) {
 	w.waits, w.next = false, now+o.RetryAfter
-	w.ends = slices.DeleteFunc(w.ends, func(e End) bool { return e.Number <= o.AckUpTo })
+	w.ends = slices.DeleteFunc(w.ends, func(e RunEnd) bool { return e.Number <= o.AckUpTo })
 	for _, s := range o.Starts {
 		w.runs[s.Task] = loadRun{run: s.Run, began: now, due: now + takes[s.Task.Job].takes}
 	}
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -93,7 +93,7 @@
 
 // hear passes a heartbeat of a worker with 16 processors, which runs what is
 // given.
-func (r *rig) hear(id string, life jobs.Incarnation, running []RunStatus, ends ...End) {
+func (r *rig) hear(id string, life jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
 	r.seq++
 	r.Beat(Beat{
 		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
@@ -192,10 +192,10 @@
 	assert.DeepEqual(t, started, []jobs.ID{"good"})
 }
 
-func endsOf(o Orders, how jobs.Result) []End {
-	var out []End
+func endsOf(o Orders, how jobs.Result) []RunEnd {
+	var out []RunEnd
 	for n, s := range o.Starts {
-		out = append(out, End{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: how})
+		out = append(out, RunEnd{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: how})
 	}
 	return out
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -67,8 +67,8 @@
 	Load int
 }
 
-// End is the end of a run.
-type End struct {
+// RunEnd is the end of a run.
+type RunEnd struct {
 	// Number counts the ends of one life of a worker from 1.
 	Number     int64
 	Task       jobs.TaskID
@@ -96,7 +96,7 @@
 	// Running and Ends are complete but for ends beyond a bound of the
 	// worker's, which follow once earlier ones are acknowledged.
 	Running []RunStatus
-	Ends    []End
+	Ends    []RunEnd
 	// ReceivedAt is the steady time at which the leader got the heartbeat.
 	ReceivedAt clock.Millis
 }
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -42,7 +42,7 @@
 	runs    map[jobs.TaskID]*simRun
 	// closed holds the highest run that was stopped or has ended, by task.
 	closed map[jobs.TaskID]int
-	ends   []End
+	ends   []RunEnd
 	number int64
 	// taker is the leader that took the heartbeat which waits.
 	taker *leader
@@ -306,7 +306,7 @@
 	x.token = a.token
 	// The worker's clock runs 2% slow.
 	x.until = max(x.until, a.sent+a.hold+a.hold/50)
-	x.ends = slices.DeleteFunc(x.ends, func(e End) bool { return e.Number <= a.orders.AckUpTo })
+	x.ends = slices.DeleteFunc(x.ends, func(e RunEnd) bool { return e.Number <= a.orders.AckUpTo })
 	for _, s := range a.orders.Stops {
 		x.closed[s.Task] = max(x.closed[s.Task], s.Run)
 		if r := x.runs[s.Task]; r != nil && r.run == s.Run {
@@ -320,7 +320,7 @@
 
 func (x *instance) end(t jobs.TaskID, r *simRun, how jobs.Result) {
 	x.number++
-	x.ends = append(x.ends, End{Number: x.number, Task: t, Run: r.run, Result: how, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+	x.ends = append(x.ends, RunEnd{Number: x.number, Task: t, Run: r.run, Result: how, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
 	x.closed[t] = max(x.closed[t], r.run)
 	delete(x.runs, t)
 }
