--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -151,7 +151,7 @@
 	to.busy = true
 	want = min(want, maxSlots)
 	s.pending += want
-	l.Counts.Asked++
+	l.Counts.Requested++
 	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Request: l.newAsk(n.Pool, want)})
 }
 
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -118,8 +118,8 @@
 
 // Counts are the counters of a ledger; all but Lent and Held only grow.
 type Counts struct {
-	// Asked is the number of asks sent, Refused those that brought no loan.
-	Asked, Refused int64
+	// Requested is the number of asks sent, Refused those that brought no loan.
+	Requested, Refused int64
 	// Given and Taken are loans, Expired those given that were not returned.
 	Given, Taken, Expired int64
 	// Used is the number of requests that ran on loans.
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -295,7 +295,7 @@
 		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
 		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
 		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
-		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Asked }},
+		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Requested }},
 		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
 		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Given }},
 		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Taken }},
