--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -164,7 +164,7 @@
 	loan.ID, loan.Slots, loan.Connections = k.id, n, n*s.ConnectionsPerSlot
 	l.given[k] = given{loan: loan, until: until}
 	l.add(loan.Instance, n)
-	l.Counts.Given++
+	l.Counts.Granted++
 	return loan, true
 }
 
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -297,7 +297,7 @@
 		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
 		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Requested }},
 		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
-		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Given }},
+		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Granted }},
 		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Taken }},
 		{"loans-expired", func() int64 { return e.dispatch.Snapshot().Loans.Expired }},
 		{"loans-requests", func() int64 { return e.dispatch.Snapshot().Loans.Used }},
