--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -211,7 +211,7 @@
 		return
 	}
 	for _, loan := range a.Loans {
-		l.Counts.Taken++
+		l.Counts.Received++
 		l.hold(&HeldLoan{
 			Loan: loan, Lender: o.To, UsableUntil: end, used: now, lenderRun: a.Incarnation,
 			forget: now + a.Lease + l.cfg.MaxRequestTime,
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -120,8 +120,8 @@
 type Counts struct {
 	// Requested is the number of asks sent, Refused those that brought no loan.
 	Requested, Refused int64
-	// Granted and Taken are loans, Expired those given that were not returned.
-	Granted, Taken, Expired int64
+	// Granted and Received are loans, Expired those given that were not returned.
+	Granted, Received, Expired int64
 	// Used is the number of requests that ran on loans.
 	Used int64
 	// Lent and Held are slots at present.
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -298,7 +298,7 @@
 		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Requested }},
 		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
 		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Granted }},
-		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Taken }},
+		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Received }},
 		{"loans-expired", func() int64 { return e.dispatch.Snapshot().Loans.Expired }},
 		{"loans-requests", func() int64 { return e.dispatch.Snapshot().Loans.Used }},
 		{"loans-not-sent", e.lender.Refused},
