--- a/core/state/fleet/memory.go
+++ b/core/state/fleet/memory.go
@@ -2,9 +2,9 @@
 
 import "camphorridge/core/state/clock"
 
-// Memory remembers values by key for a lifetime and up to a number of keys;
+// ExpiringMap remembers values by key for a lifetime and up to a number of keys;
 // the oldest go first. Times must not decrease from one Put to the next.
-type Memory[K comparable, V any] struct {
+type ExpiringMap[K comparable, V any] struct {
 	// Limit is the largest number of keys; at least 1.
 	Limit    int
 	Lifetime clock.Millis
@@ -32,18 +32,18 @@
 const minCompact = 64
 
 // NewMemory returns an empty memory.
-func NewMemory[K comparable, V any](limit int, lifetime clock.Millis) *Memory[K, V] {
-	return &Memory[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]remembered[V]{}}
+func NewMemory[K comparable, V any](limit int, lifetime clock.Millis) *ExpiringMap[K, V] {
+	return &ExpiringMap[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]remembered[V]{}}
 }
 
 // Get returns the value of a key that was not forgotten yet.
-func (m *Memory[K, V]) Get(k K) (v V, ok bool) {
+func (m *ExpiringMap[K, V]) Get(k K) (v V, ok bool) {
 	r, ok := m.items[k]
 	return r.value, ok
 }
 
 // Put remembers a value from now on and forgets what is too old.
-func (m *Memory[K, V]) Put(k K, v V, now clock.Millis) {
+func (m *ExpiringMap[K, V]) Put(k K, v V, now clock.Millis) {
 	m.next++
 	m.items[k] = remembered[V]{value: v, time: now, id: m.next}
 	m.order = append(m.order, orderedKey[K]{key: k, id: m.next, time: now})
@@ -54,7 +54,7 @@
 // compact drops the keys that were removed or put again once they outnumber
 // the keys held. Without it a single old key at the front would keep every
 // key removed after it for a whole lifetime.
-func (m *Memory[K, V]) compact() {
+func (m *ExpiringMap[K, V]) compact() {
 	if len(m.order) <= 2*len(m.items)+minCompact {
 		return
 	}
@@ -69,7 +69,7 @@
 
 // Update changes the value of a key without making it younger. It does
 // nothing for a key that is not held.
-func (m *Memory[K, V]) Update(k K, v V) {
+func (m *ExpiringMap[K, V]) Update(k K, v V) {
 	r, ok := m.items[k]
 	if !ok {
 		return
@@ -79,13 +79,13 @@
 }
 
 // Remove forgets a key.
-func (m *Memory[K, V]) Remove(k K) { delete(m.items, k) }
+func (m *ExpiringMap[K, V]) Remove(k K) { delete(m.items, k) }
 
 // Len is the number of keys held.
-func (m *Memory[K, V]) Len() int { return len(m.items) }
+func (m *ExpiringMap[K, V]) Len() int { return len(m.items) }
 
 // Expire forgets what is older than the lifetime or beyond the limit.
-func (m *Memory[K, V]) Expire(now clock.Millis) {
+func (m *ExpiringMap[K, V]) Expire(now clock.Millis) {
 	for len(m.order) > 0 {
 		first := m.order[0]
 		r, ok := m.items[first.key]
@@ -101,7 +101,7 @@
 }
 
 // Each calls f for every key held, oldest first.
-func (m *Memory[K, V]) Each(f func(k K, v V, t clock.Millis)) {
+func (m *ExpiringMap[K, V]) Each(f func(k K, v V, t clock.Millis)) {
 	for _, o := range m.order {
 		r, ok := m.items[o.key]
 		if ok && r.id == o.id {
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -50,9 +50,9 @@
 	Maintenance map[string]model.Maintenance
 	// Results holds the answers to operators' changes by request identity;
 	// at most MaxResults.
-	Results *Memory[model.RequestID, model.Result]
+	Results *ExpiringMap[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
-	Claims *Memory[model.ClaimKey, HeldClaim]
+	Claims *ExpiringMap[model.ClaimKey, HeldClaim]
 	// Gone holds the entry processes that were declared gone, with the time of
 	// the declaration: runs that started before it have ended. At most MaxGone.
 	Gone map[model.Process]clock.Millis
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -18,7 +18,7 @@
 )
 
 // remembered lists what a memory holds, oldest first, with the times.
-func remembered[K comparable, V any](m *fleet.Memory[K, V]) []string {
+func remembered[K comparable, V any](m *fleet.ExpiringMap[K, V]) []string {
 	var out []string
 	m.Each(func(k K, v V, t clock.Millis) { out = append(out, fmt.Sprintf("%q %+v %d", fmt.Sprint(k), v, t)) })
 	return out
