--- a/core/state/fleet/memory.go
+++ b/core/state/fleet/memory.go
@@ -31,8 +31,8 @@
 // worth its copy.
 const minCompact = 64
 
-// NewMemory returns an empty memory.
-func NewMemory[K comparable, V any](limit int, lifetime clock.Millis) *ExpiringMap[K, V] {
+// NewExpiringMap returns an empty memory.
+func NewExpiringMap[K comparable, V any](limit int, lifetime clock.Millis) *ExpiringMap[K, V] {
 	return &ExpiringMap[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]remembered[V]{}}
 }
 
--- a/core/state/fleet/memory_test.go
+++ b/core/state/fleet/memory_test.go
@@ -14,7 +14,7 @@
 // with removed keys while an old key stays.
 func TestMemoryBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := NewMemory[int, int](5, 100)
+		m := NewExpiringMap[int, int](5, 100)
 		now := clock.Millis(0)
 		for n := range 400 {
 			now += clock.Millis(rapid.IntRange(0, 3).Draw(t, "pass"))
