--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -137,7 +137,7 @@
 	ack     int64
 	starts  []Start
 	stops   []Stop
-	rates   []Rate
+	rates   []Throttle
 	pressed bool
 }
 
--- a/core/state/sched/pace.go
+++ b/core/state/sched/pace.go
@@ -58,7 +58,7 @@
 	}
 	for _, id := range sortedTasks(w.runs) {
 		if r := w.runs[id]; r.fills() {
-			w.beat.rates = append(w.beat.rates, Rate{Task: id, Run: r.number, Percent: w.pace.percent})
+			w.beat.rates = append(w.beat.rates, Throttle{Task: id, Run: r.number, Percent: w.pace.percent})
 		}
 	}
 }
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -108,7 +108,7 @@
 	}
 	next.hear("w1", 1, running)
 	next.now += next.set.HoldMillis
-	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Throttles, []Rate{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
+	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Throttles, []Throttle{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
 }
 
 // TestSlowFillerIsNotStopped guards against a filler that is started anew again
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -118,8 +118,8 @@
 	Run  int
 }
 
-// Rate tells a worker to let a task work at a share of its speed.
-type Rate struct {
+// Throttle tells a worker to let a task work at a share of its speed.
+type Throttle struct {
 	Task    jobs.TaskID
 	Run     int
 	Percent int
@@ -133,7 +133,7 @@
 	AckUpTo   int64
 	Starts    []Start
 	Stops     []Stop
-	Throttles []Rate
+	Throttles []Throttle
 	// RetryAfter is the pause until the next heartbeat.
 	RetryAfter clock.Millis
 	// LeaseGranted is false for a worker that may no longer run anything.
