--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -170,7 +170,7 @@
 
 func (l *Ledger[P]) add(id model.InstanceID, n int) {
 	l.lent[id] += n
-	l.Counts.Lent += int64(n)
+	l.Counts.LentSlots += int64(n)
 	if l.lent[id] == 0 {
 		delete(l.lent, id)
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -313,7 +313,7 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	counters(r, usage(e.client.Traffic))
-	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.Lent })
+	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
 	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.Held })
 	_ = r.Register("request-wait-ms", e.timed.wait)
 	_ = r.Register("request-elapsed-ms", e.timed.elapsed)
