--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -10,9 +10,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Board decides maintenance waves by package maint. It follows the table by
+// WavePlanner decides maintenance waves by package maint. It follows the table by
 // what changed, and is filled anew in each term.
-type Board[P maint.Pacer, J maint.StopPolicy] struct {
+type WavePlanner[P maint.Pacer, J maint.StopPolicy] struct {
 	pacer P
 	judge J
 	set   maint.Settings
@@ -22,14 +22,14 @@
 }
 
 // NewBoard returns a board with the policies given.
-func NewBoard[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *Board[P, J] {
-	b := &Board[P, J]{pacer: p, judge: j, set: set}
+func NewBoard[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *WavePlanner[P, J] {
+	b := &WavePlanner[P, J]{pacer: p, judge: j, set: set}
 	b.Reset(nil)
 	return b
 }
 
 // Reset forgets everything and takes the finished outages, for a new term.
-func (b *Board[P, J]) Reset(outages []model.Outage) {
+func (b *WavePlanner[P, J]) Reset(outages []model.Outage) {
 	b.board = maint.NewPlanner(b.pacer, b.judge, b.set)
 	b.declared = map[string]model.Version{}
 	for _, o := range outages {
@@ -38,7 +38,7 @@
 }
 
 // Follow tells the board what changed in the replicated state.
-func (b *Board[P, J]) Follow(c Changed) {
+func (b *WavePlanner[P, J]) Follow(c Changed) {
 	for _, x := range c.Delta.Contracts {
 		b.board.SetContract(x)
 	}
@@ -69,13 +69,15 @@
 }
 
 // See tells the board what the entry processes say about an instance.
-func (b *Board[P, J]) See(id model.InstanceID, s maint.Observation) { b.board.SetObservation(id, s) }
+func (b *WavePlanner[P, J]) See(id model.InstanceID, s maint.Observation) {
+	b.board.SetObservation(id, s)
+}
 
 // Feel tells the board what a customer's callers feel, in permille.
-func (b *Board[P, J]) Feel(c model.Customer, permille int) { b.board.SetPressure(c, permille) }
+func (b *WavePlanner[P, J]) Feel(c model.Customer, permille int) { b.board.SetPressure(c, permille) }
 
 // Pass returns the steps that are due.
-func (b *Board[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
+func (b *WavePlanner[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
 
 // Changed is what a pass of the mover found new in the replicated state.
 type Changed struct {
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -94,7 +94,7 @@
 	Entries  []model.Member
 	Group    G
 	Platform P
-	Board    *Board[C, J]
+	Board    *WavePlanner[C, J]
 	Capacity *Capacity[A, S]
 	Clock    clock.Clock
 	// Events takes the events of the time line; it must not wait.
