--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -21,8 +21,8 @@
 	declared map[string]model.Version
 }
 
-// NewBoard returns a board with the policies given.
-func NewBoard[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *WavePlanner[P, J] {
+// NewWavePlanner returns a board with the policies given.
+func NewWavePlanner[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *WavePlanner[P, J] {
 	b := &WavePlanner[P, J]{pacer: p, judge: j, set: set}
 	b.Reset(nil)
 	return b
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -130,7 +130,7 @@
 			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which was not heard", id)})
 		},
 	})
-	board := mover.NewBoard(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
+	board := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
 		maint.ZTest{Z: stopScore, MinFailures: stopLeast}, waveSettings(cfg.Maintenance))
 	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
