--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -95,7 +95,7 @@
 	Group    G
 	Platform P
 	Board    *WavePlanner[C, J]
-	Capacity *Capacity[A, S]
+	Capacity *CapacityPlanner[A, S]
 	Clock    clock.Clock
 	// Events takes the events of the time line; it must not wait.
 	Events func(model.Event)
--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -10,9 +10,9 @@
 	"camphorridge/core/state/plan"
 )
 
-// Capacity decides moves between pools by package plan. It follows the table
+// CapacityPlanner decides moves between pools by package plan. It follows the table
 // by what changed and decides only after a change.
-type Capacity[A plan.Policy, S plan.Chooser] struct {
+type CapacityPlanner[A plan.Policy, S plan.Chooser] struct {
 	*Surges[S]
 	policy A
 	set    plan.Settings
@@ -29,14 +29,14 @@
 }
 
 // NewCapacity returns a capacity decision with the policy given.
-func NewCapacity[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *Capacity[A, S] {
-	c := &Capacity[A, S]{Surges: s, policy: p, set: set, RepairAfter: repairAfter}
+func NewCapacity[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *CapacityPlanner[A, S] {
+	c := &CapacityPlanner[A, S]{Surges: s, policy: p, set: set, RepairAfter: repairAfter}
 	c.Reset()
 	return c
 }
 
 // Reset forgets everything, for a new term.
-func (c *Capacity[A, S]) Reset() {
+func (c *CapacityPlanner[A, S]) Reset() {
 	c.book = plan.NewFleetIndex(nil)
 	c.contracts = map[model.Customer]model.Contract{}
 	c.lost = map[model.InstanceID]model.Instance{}
@@ -46,7 +46,7 @@
 }
 
 // Follow takes what changed in the table.
-func (c *Capacity[A, S]) Follow(d model.Delta) {
+func (c *CapacityPlanner[A, S]) Follow(d model.Delta) {
 	for _, x := range d.Contracts {
 		c.contracts[x.Customer] = x
 	}
@@ -75,7 +75,7 @@
 // Moves returns the releases that start moves, and what the moves cannot
 // reach. It decides anew only after a change, or when a lost instance has been
 // waited for.
-func (c *Capacity[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
+func (c *CapacityPlanner[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
 	for id, i := range c.lost {
 		if now-i.LostSince >= c.RepairAfter {
 			c.book.SetInstance(i, true)
@@ -102,7 +102,7 @@
 	return steps, c.waits()
 }
 
-func (c *Capacity[A, S]) waits() []Wait {
+func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
 	for _, g := range c.last.Gaps {
 		waits = append(waits, Wait{
@@ -116,4 +116,4 @@
 }
 
 // Retry makes the next call decide again, after steps that were not applied.
-func (c *Capacity[A, S]) Retry() { c.dirty = true }
+func (c *CapacityPlanner[A, S]) Retry() { c.dirty = true }
