--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -28,8 +28,8 @@
 	last  plan.Assignment
 }
 
-// NewCapacity returns a capacity decision with the policy given.
-func NewCapacity[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *CapacityPlanner[A, S] {
+// NewCapacityPlanner returns a capacity decision with the policy given.
+func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *CapacityPlanner[A, S] {
 	c := &CapacityPlanner[A, S]{Surges: s, policy: p, set: set, RepairAfter: repairAfter}
 	c.Reset()
 	return c
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -132,7 +132,7 @@
 	})
 	board := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
 		maint.ZTest{Z: stopScore, MinFailures: stopLeast}, waveSettings(cfg.Maintenance))
-	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
+	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
 		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
 		Board: board, Capacity: capacity, Clock: clk, Events: c.record,
