--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -13,7 +13,7 @@
 // CapacityPlanner decides moves between pools by package plan. It follows the table
 // by what changed and decides only after a change.
 type CapacityPlanner[A plan.Policy, S plan.Chooser] struct {
-	*Surges[S]
+	*SurgePlanner[S]
 	policy A
 	set    plan.Settings
 	// RepairAfter is the time that a lost instance is waited for before another
@@ -29,8 +29,8 @@
 }
 
 // NewCapacityPlanner returns a capacity decision with the policy given.
-func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *CapacityPlanner[A, S] {
-	c := &CapacityPlanner[A, S]{Surges: s, policy: p, set: set, RepairAfter: repairAfter}
+func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *SurgePlanner[S]) *CapacityPlanner[A, S] {
+	c := &CapacityPlanner[A, S]{SurgePlanner: s, policy: p, set: set, RepairAfter: repairAfter}
 	c.Reset()
 	return c
 }
@@ -42,7 +42,7 @@
 	c.lost = map[model.InstanceID]model.Instance{}
 	c.last = plan.Assignment{}
 	c.dirty = false
-	c.Surges.Reset()
+	c.SurgePlanner.Reset()
 }
 
 // Follow takes what changed in the table.
--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -20,9 +20,9 @@
 	gap clock.Millis
 }
 
-// Surges decides by package plan what to do about demand beyond a pool's
+// SurgePlanner decides by package plan what to do about demand beyond a pool's
 // slots, and when to take it back.
-type Surges[S plan.Chooser] struct {
+type SurgePlanner[S plan.Chooser] struct {
 	chooser S
 	weights plan.Weights
 	// On is false to leave surges to the queues.
@@ -36,14 +36,14 @@
 }
 
 // NewSurges returns a decision about surges.
-func NewSurges[S plan.Chooser](c S, w plan.Weights, on bool) *Surges[S] {
-	s := &Surges[S]{chooser: c, weights: w, On: on}
+func NewSurges[S plan.Chooser](c S, w plan.Weights, on bool) *SurgePlanner[S] {
+	s := &SurgePlanner[S]{chooser: c, weights: w, On: on}
 	s.Reset()
 	return s
 }
 
 // Reset forgets everything, for a new term.
-func (s *Surges[S]) Reset() {
+func (s *SurgePlanner[S]) Reset() {
 	s.processes = map[model.Process]reported{}
 	s.high = map[model.Pool]clock.Millis{}
 	s.low = map[model.Pool]clock.Millis{}
@@ -52,7 +52,7 @@
 }
 
 // Report takes the demand that an entry process reported.
-func (s *Surges[S]) Report(p model.Process, pools []model.PoolDemand, now clock.Millis) {
+func (s *SurgePlanner[S]) Report(p model.Process, pools []model.PoolDemand, now clock.Millis) {
 	before, known := s.processes[p]
 	gap := now - before.at
 	if !known || gap <= 0 {
@@ -63,7 +63,7 @@
 
 // Extras returns the instances that pools hold beyond their promise for now,
 // and reports whether they differ from the last call.
-func (s *Surges[S]) Extras(t model.Table, now clock.Millis) (extras []plan.Extra, changed bool) {
+func (s *SurgePlanner[S]) Extras(t model.Table, now clock.Millis) (extras []plan.Extra, changed bool) {
 	if !s.On || now-s.at < surgeInterval {
 		return s.extras, false
 	}
@@ -101,7 +101,7 @@
 }
 
 // demands sums what the entry processes reported lately.
-func (s *Surges[S]) demands(now clock.Millis) []plan.Demand {
+func (s *SurgePlanner[S]) demands(now clock.Millis) []plan.Demand {
 	sums := map[model.Pool]*plan.Demand{}
 	var order []model.Pool
 	for name, r := range s.processes {
@@ -132,7 +132,7 @@
 
 // mark notes since when the pools' demand has been high or low, also of pools
 // without any demand.
-func (s *Surges[S]) mark(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
+func (s *SurgePlanner[S]) mark(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
 	byPool := make(map[model.Pool]*plan.Demand, len(demands))
 	for i := range demands {
 		byPool[demands[i].Pool] = &demands[i]
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -143,7 +143,7 @@
 func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
 // surges prefers what the operator gives the most weight to.
-func surges(cfg conf.Control) *mover.Surges[plan.Cheapest] {
+func surges(cfg conf.Control) *mover.SurgePlanner[plan.Cheapest] {
 	w := plan.RolloutFirst()
 	if cfg.SurgePreference == "buffer-cost" {
 		w = plan.BufferFirst()
