--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -150,7 +150,7 @@
 	next.Version = index
 	s.Contracts[name] = next
 	s.Authors[object] = Author{Name: c.Author, Version: index}
-	s.touch(Touch{Version: index, Contract: name})
+	s.touch(TableChange{Version: index, Contract: name})
 	return model.Result{Version: index, Reason: c.Note}
 }
 
@@ -165,7 +165,7 @@
 	}
 	delete(s.Contracts, c.Customer)
 	s.removed(object, c.Author, index)
-	s.touch(Touch{Version: index, Contract: c.Customer})
+	s.touch(TableChange{Version: index, Contract: c.Customer})
 	return model.Result{Version: index}
 }
 
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -67,7 +67,7 @@
 	Authors map[string]Author
 	// Touches lists the latest table changes in ascending order of version;
 	// at most MaxTouches.
-	Touches []Touch
+	Touches []TableChange
 	// Jobs is the submitted work.
 	Jobs *jobs.State
 }
@@ -89,8 +89,8 @@
 	Version model.Version
 }
 
-// Touch says that a change altered a contract or an instance; one name is set.
-type Touch struct {
+// TableChange says that a change altered a contract or an instance; one name is set.
+type TableChange struct {
 	Version  model.Version
 	Contract model.Customer
 	Instance model.InstanceID
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -45,7 +45,7 @@
 		next.Version = index
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
-		s.touch(Touch{Version: index, Instance: next.ID})
+		s.touch(TableChange{Version: index, Instance: next.ID})
 		retired = retired || next.Phase == model.PhaseRetired
 	}
 	if retired {
@@ -134,11 +134,11 @@
 	for _, i := range retired[:over] {
 		delete(s.Instances, i.ID)
 		delete(s.Authors, "instance "+string(i.ID))
-		s.touch(Touch{Version: index, Instance: i.ID})
+		s.touch(TableChange{Version: index, Instance: i.ID})
 	}
 }
 
-func (s *State) touch(t Touch) {
+func (s *State) touch(t TableChange) {
 	s.Version = t.Version
 	s.Touches = append(s.Touches, t)
 	if over := len(s.Touches) - MaxTouches; over > 0 {
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -99,7 +99,7 @@
 			return nil, stateError(KindRange, "touch %d after %d at version %d", t.GetVersion(), last, s.Version)
 		}
 		last = t.GetVersion()
-		s.Touches = append(s.Touches, fleet.Touch{
+		s.Touches = append(s.Touches, fleet.TableChange{
 			Version:  model.Version(last),
 			Contract: model.Customer(t.GetContract()),
 			Instance: model.InstanceID(t.GetInstance()),
@@ -207,7 +207,7 @@
 	return nil
 }
 
-func touchToWire(t fleet.Touch) *wirepb.Touch {
+func touchToWire(t fleet.TableChange) *wirepb.Touch {
 	return &wirepb.Touch{Version: uint64(t.Version), Contract: text(t.Contract), Instance: text(t.Instance)}
 }
 
