--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -50,7 +50,7 @@
 		reply <- beatAnswer{err: failf("heartbeat", KindNotLeader, "this process does not lead")}
 		return
 	}
-	if !r.board.Beat(*h, now) {
+	if !r.board.Heartbeat(*h, now) {
 		r.n.StaleBeats++
 		reply <- beatAnswer{err: failf("heartbeat", KindStale, "it is older than one that was taken")}
 		return
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -9,10 +9,10 @@
 	"camphorridge/core/state/place"
 )
 
-// Beat takes a heartbeat, which waits for its answer in a later plan. It
+// Heartbeat takes a heartbeat, which waits for its answer in a later plan. It
 // reports false for one that is late: of an earlier life of its worker or
 // machine, or from before one that was taken already.
-func (b *Board[O, J]) Beat(h Beat, now clock.Millis) bool {
+func (b *Board[O, J]) Heartbeat(h Beat, now clock.Millis) bool {
 	b.now = max(b.now, now)
 	w := b.workers[h.Worker]
 	if w != nil && (h.Incarnation < w.life || (h.Incarnation == w.life && w.known && h.Seq <= w.seq)) {
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -34,7 +34,7 @@
 	for i := range beats {
 		beats[i].Seq++
 		beats[i].ReceivedAt = 1000
-		b.Beat(beats[i], 1000)
+		b.Heartbeat(beats[i], 1000)
 	}
 	for _, o := range b.Pass(1000).Orders {
 		for i := range beats {
@@ -63,7 +63,7 @@
 				}
 				h.Seq += 1
 				h.ReceivedAt = now
-				board.Beat(*h, now)
+				board.Heartbeat(*h, now)
 				board.Pass(now)
 			}
 		})
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -138,7 +138,7 @@
 		for _, w := range workers {
 			w.work(now)
 			if !w.waits && now >= w.next {
-				b.Beat(w.beat(start+now), start+now)
+				b.Heartbeat(w.beat(start+now), start+now)
 			}
 		}
 		for _, o := range b.Pass(start + now).Orders {
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -478,12 +478,12 @@
 		l = w.stale
 	}
 	x.taker = nil
-	if l.board.Beat(h, w.now) {
+	if l.board.Heartbeat(h, w.now) {
 		x.taker = l
 	}
 	if !w.calm && w.r.IntN(50) == 0 {
 		// A heartbeat may come twice or late.
-		l.board.Beat(h, w.now)
+		l.board.Heartbeat(h, w.now)
 	}
 }
 
