--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -104,7 +104,7 @@
 type input struct {
 	call      *Call
 	answer    chan Answer
-	beat      *sched.Beat
+	beat      *sched.Heartbeat
 	reply     chan beatAnswer
 	leave     *leave
 	committed *batch
@@ -208,7 +208,7 @@
 
 // Beat hands in a heartbeat and waits for its answer. Errors are of kind
 // not-leader, busy, unknown or stale.
-func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Beat) (HeartbeatReply, error) {
+func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
 	reply := make(chan beatAnswer, 1)
 	h.ReceivedAt = r.clock.Now()
 	if !r.in.TryPut(input{beat: &h, reply: reply}) {
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -45,7 +45,7 @@
 	}
 }
 
-func (r *Runner[G, M, O, J]) takeBeat(h *sched.Beat, reply chan beatAnswer, now clock.Millis) {
+func (r *Runner[G, M, O, J]) takeBeat(h *sched.Heartbeat, reply chan beatAnswer, now clock.Millis) {
 	if r.board == nil {
 		reply <- beatAnswer{err: failf("heartbeat", KindNotLeader, "this process does not lead")}
 		return
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -12,7 +12,7 @@
 // Heartbeat takes a heartbeat, which waits for its answer in a later plan. It
 // reports false for one that is late: of an earlier life of its worker or
 // machine, or from before one that was taken already.
-func (b *Board[O, J]) Heartbeat(h Beat, now clock.Millis) bool {
+func (b *Board[O, J]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	b.now = max(b.now, now)
 	w := b.workers[h.Worker]
 	if w != nil && (h.Incarnation < w.life || (h.Incarnation == w.life && w.known && h.Seq <= w.seq)) {
@@ -65,7 +65,7 @@
 }
 
 // settle brings what the worker says of itself up to date.
-func (b *Board[O, J]) settle(w *worker, h Beat, now clock.Millis) {
+func (b *Board[O, J]) settle(w *worker, h Heartbeat, now clock.Millis) {
 	if m := b.machines[h.Machine]; m != nil && m != w {
 		b.remove(m, "another worker runs on its machine", now)
 	}
@@ -97,7 +97,7 @@
 
 // ends takes the ends that the worker lists and returns the number of the
 // last.
-func (b *Board[O, J]) ends(w *worker, h Beat, now clock.Millis) int64 {
+func (b *Board[O, J]) ends(w *worker, h Heartbeat, now clock.Millis) int64 {
 	ack := int64(0)
 	for _, e := range h.Ends {
 		ack = max(ack, e.Number)
@@ -169,7 +169,7 @@
 }
 
 // listed compares the runs that the worker lists with those assigned to it.
-func (b *Board[O, J]) listed(w *worker, h Beat, now clock.Millis) {
+func (b *Board[O, J]) listed(w *worker, h Heartbeat, now clock.Millis) {
 	for _, r := range w.runs {
 		r.listed = false
 	}
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -10,7 +10,7 @@
 
 // fleet returns a board with workers that each run ten tasks and have room for
 // more, in pools of 70, and the heartbeat that each would send.
-func fleet(n int) (*testBoard, []Beat) {
+func fleet(n int) (*testBoard, []Heartbeat) {
 	s := jobs.New()
 	c := jobs.Config{Version: 1}
 	for p := range (n + 69) / 70 {
@@ -20,10 +20,10 @@
 	}
 	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
 	b := NewBoard(Defaults(), EarliestObjective{}, place.PeerComparison{MinScore: 3}, s, 1000)
-	beats := make([]Beat, n)
+	beats := make([]Heartbeat, n)
 	for i := range beats {
 		pool := jobs.PoolName(fmt.Sprint("p", i/70))
-		beats[i] = Beat{
+		beats[i] = Heartbeat{
 			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: pool,
 			Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Labels: []string{"a", "r-1"},
 		}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -219,7 +219,7 @@
 			r := newRig(Defaults())
 			racked := func(id, rack string) {
 				r.seq++
-				r.Heartbeat(Beat{
+				r.Heartbeat(Heartbeat{
 					Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
 					Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 				}, r.now)
@@ -264,7 +264,7 @@
 	r := newRig(Defaults())
 	r.submit("a", small)
 	r.seq++
-	r.Heartbeat(Beat{
+	r.Heartbeat(Heartbeat{
 		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
 		Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 	}, r.now)
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -173,10 +173,10 @@
 	}
 }
 
-func (w *loadWorker) beat(now clock.Millis) Beat {
+func (w *loadWorker) beat(now clock.Millis) Heartbeat {
 	w.seq++
 	w.waits = true
-	h := Beat{
+	h := Heartbeat{
 		Worker: w.id, Incarnation: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
 		Capacity: jobs.Resources{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
 	}
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -95,7 +95,7 @@
 // given.
 func (r *rig) hear(id string, life jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
 	r.seq++
-	r.Heartbeat(Beat{
+	r.Heartbeat(Heartbeat{
 		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
 		Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
 	}, r.now)
@@ -164,9 +164,9 @@
 	r.Pass(r.now)
 	r.submit("a", small)
 	r.seq++
-	assert.Assert(t, !r.Heartbeat(Beat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 	r.Leave("w1", 0, r.now)
-	assert.Assert(t, !r.Heartbeat(Beat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 }
 
 // TestPoisonSetsNoWorkerAside guards against one job that can never be done
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -77,8 +77,8 @@
 	Checkpoint string
 }
 
-// Beat is a heartbeat of a worker.
-type Beat struct {
+// Heartbeat is a heartbeat of a worker.
+type Heartbeat struct {
 	Worker      jobs.WorkerID
 	Incarnation jobs.Incarnation
 	Machine     jobs.MachineID
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -459,7 +459,7 @@
 func (w *world) beat(x *instance) {
 	x.seq++
 	x.sent = w.now
-	h := Beat{
+	h := Heartbeat{
 		Worker: x.id, Incarnation: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.room,
 		Draining: x.draining, Ends: slices.Clone(x.ends), ReceivedAt: w.now,
 	}
