--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -349,7 +349,7 @@
 	p := r.Pass(r.now)
 	assert.Equal(t, len(actions(p, ActionList)), 1)
 	r.Acted(actions(p, ActionList)[0], Outcome{Machines: []Machine{
-		{ID: "s1", Pool: "off", Up: true, Room: jobs.Resources{MilliCores: 16_000}},
+		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
 		{ID: "m-w1", Pool: "p", Up: true},
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -200,8 +200,8 @@
 	listed := make(map[jobs.MachineID]bool, len(o.Machines))
 	for _, m := range o.Machines {
 		listed[m.ID] = true
-		if f.room.MilliCores < m.Room.MilliCores {
-			f.room = m.Room
+		if f.room.MilliCores < m.Capacity.MilliCores {
+			f.room = m.Capacity
 		}
 		if _, moving := f.moves[m.ID]; off[m.Pool] && m.Up && !moving {
 			f.standby[m.ID] = m.Pool
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -173,8 +173,8 @@
 	ID   jobs.MachineID
 	Pool jobs.PoolName
 	// Up is false while the machine moves, is maintained or is down.
-	Up   bool
-	Room jobs.Resources
+	Up       bool
+	Capacity jobs.Resources
 }
 
 // Outcome is the platform's answer to an action.
