--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -202,7 +202,7 @@
 }
 
 func (r *Runner[G, M, O, J]) act(a action) sched.Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.Takes).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.ExpectedDuration).Duration())
 	defer cancel()
 	if !r.may(a) {
 		return sched.Outcome{Answer: sched.AnswerLater}
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -114,7 +114,7 @@
 	b.advice.asking, b.advice.lives, b.advice.asked = g.key, lives, now
 	rule := b.adviceOf(g.rec)
 	b.out.Actions = append(b.out.Actions, Action{
-		Kind: ActionAdvise, Step: g.key.task(0), Workers: names, Takes: rule.BaseLatency + clock.Millis(len(names))*rule.LatencyPerWorker,
+		Kind: ActionAdvise, Step: g.key.task(0), Workers: names, ExpectedDuration: rule.BaseLatency + clock.Millis(len(names))*rule.LatencyPerWorker,
 	})
 }
 
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -163,9 +163,9 @@
 	Pool    jobs.PoolName
 	// Step is the first task of the step that Workers are named for, and Takes
 	// how long the answer is expected to take.
-	Step    jobs.TaskID
-	Workers []jobs.WorkerID
-	Takes   clock.Millis
+	Step             jobs.TaskID
+	Workers          []jobs.WorkerID
+	ExpectedDuration clock.Millis
 }
 
 // Machine is a machine as the platform lists it.
