--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -244,7 +244,7 @@
 	}
 	s := l.purse(h.Pool)
 	s.loans = append(s.loans, h)
-	l.Counts.Held += int64(h.Slots)
+	l.Counts.HeldSlots += int64(h.Slots)
 }
 
 // drop forgets a loan that was returned, or that the lender has given up.
@@ -253,7 +253,7 @@
 	s := l.purse(h.Pool)
 	if i := slices.Index(s.loans, h); i >= 0 {
 		s.loans = slices.Delete(s.loans, i, i+1)
-		l.Counts.Held -= int64(h.Slots)
+		l.Counts.HeldSlots -= int64(h.Slots)
 	}
 }
 
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -94,7 +94,7 @@
 	assert.DeepEqual(t, o.Return.IDs, []ID{h.ID})
 	assert.DeepEqual(t, o.CloseConnections, []string{h.Name()})
 	l.Returned(o, true)
-	assert.Equal(t, l.Counts.Held, int64(0))
+	assert.Equal(t, l.Counts.HeldSlots, int64(0))
 }
 
 // Guards against loans of a lender's earlier run whose answer came after its
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -124,8 +124,8 @@
 	Granted, Received, Expired int64
 	// Used is the number of requests that ran on loans.
 	Used int64
-	// LentSlots and Held are slots at present.
-	LentSlots, Held int64
+	// LentSlots and HeldSlots are slots at present.
+	LentSlots, HeldSlots int64
 }
 
 // PoolDemand is a pool with waiters that may run.
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -314,7 +314,7 @@
 	})
 	counters(r, usage(e.client.Traffic))
 	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
-	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.Held })
+	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
 	_ = r.Register("request-wait-ms", e.timed.wait)
 	_ = r.Register("request-elapsed-ms", e.timed.elapsed)
 	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
