--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -72,7 +72,7 @@
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
 	set := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PressureRetryMillis: 1000}
 	board := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
-	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurges(plan.QueueOnly{}, plan.Weights{}, false))
+	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurgePlanner(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New(testParts{
 		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Board: board,
 		Capacity: capacity, Clock: clk.Clock(), Events: func(e model.Event) {
--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -35,8 +35,8 @@
 	reasons   []string
 }
 
-// NewSurges returns a decision about surges.
-func NewSurges[S plan.Chooser](c S, w plan.Weights, on bool) *SurgePlanner[S] {
+// NewSurgePlanner returns a decision about surges.
+func NewSurgePlanner[S plan.Chooser](c S, w plan.Weights, on bool) *SurgePlanner[S] {
 	s := &SurgePlanner[S]{chooser: c, weights: w, On: on}
 	s.Reset()
 	return s
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -149,7 +149,7 @@
 		w = plan.BufferFirst()
 	}
 	w.MinSpare = cfg.SurgeKeep
-	return mover.NewSurges(plan.Cheapest{}, w, cfg.SurgePreference != "off")
+	return mover.NewSurgePlanner(plan.Cheapest{}, w, cfg.SurgePreference != "off")
 }
 
 func waveSettings(m conf.Maintenance) maint.Settings {
