--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -45,11 +45,11 @@
 	Remove(ctx context.Context, id raft.MemberID) error
 }
 
-// Keeper is the duty that keeps the members' addresses known. In the leader it
+// MembershipManager is the duty that keeps the members' addresses known. In the leader it
 // adds processes that lost their data folder under their new identity, and
 // removes members that are gone from a group that another one has joined. In a
 // process that is not a member it asks to become one.
-type Keeper[A Asker, M Membership] struct {
+type MembershipManager[A Asker, M Membership] struct {
 	self   Hello
 	member raft.Member
 	// configured holds the processes that the settings name.
@@ -85,8 +85,8 @@
 }
 
 // NewKeeper returns a keeper; Run must be called for it to do anything.
-func NewKeeper[A Asker, M Membership](p KeeperParts[A, M]) *Keeper[A, M] {
-	k := &Keeper[A, M]{
+func NewKeeper[A Asker, M Membership](p KeeperParts[A, M]) *MembershipManager[A, M] {
+	k := &MembershipManager[A, M]{
 		self: p.Self, member: p.Member, size: p.Size, asker: p.Asker, group: p.Group, clock: p.Clock,
 		done: make(chan struct{}), joined: p.Joined, removed: p.Removed, silent: map[raft.MemberID]clock.Millis{},
 	}
@@ -96,10 +96,10 @@
 
 // Configure replaces the processes that the settings name. It may be called
 // from any goroutine.
-func (k *Keeper[A, M]) Configure(all []model.Member) { k.configured.Store(&all) }
+func (k *MembershipManager[A, M]) Configure(all []model.Member) { k.configured.Store(&all) }
 
 // Run looks at the member list until Stop.
-func (k *Keeper[A, M]) Run() error {
+func (k *MembershipManager[A, M]) Run() error {
 	for {
 		select {
 		case <-k.clock.After(keepInterval):
@@ -111,9 +111,9 @@
 }
 
 // Stop ends Run.
-func (k *Keeper[A, M]) Stop() { close(k.done) }
+func (k *MembershipManager[A, M]) Stop() { close(k.done) }
 
-func (k *Keeper[A, M]) look() {
+func (k *MembershipManager[A, M]) look() {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout.Duration())
 	defer cancel()
 	v := k.group.Refresh(ctx)
@@ -136,7 +136,7 @@
 // enlist asks for membership when this process is not a member, or hears no
 // leader for a while and may have been removed. For a member that is listed it
 // changes nothing.
-func (k *Keeper[A, M]) enlist(ctx context.Context, v View) {
+func (k *MembershipManager[A, M]) enlist(ctx context.Context, v View) {
 	listed := slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == k.self.ID })
 	k.alone++
 	if v.Led {
@@ -152,7 +152,7 @@
 
 // retire removes a member that has not been heard for long from a group that
 // is larger than its size, as after the replacement of a machine for good.
-func (k *Keeper[A, M]) retire(ctx context.Context, v View) {
+func (k *MembershipManager[A, M]) retire(ctx context.Context, v View) {
 	now := k.clock.Now()
 	for id := range k.silent {
 		if !slices.Contains(v.Silent, id) {
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/keeper_test.go
@@ -37,7 +37,7 @@
 	return nil
 }
 
-func newTestKeeper(size int) (*Keeper[fakeAsker, *fakeGroup], *fakeGroup, *clock.Fake) {
+func newTestKeeper(size int) (*MembershipManager[fakeAsker, *fakeGroup], *fakeGroup, *clock.Fake) {
 	g, c := &fakeGroup{}, clock.NewFake(1000)
 	k := NewKeeper(KeeperParts[fakeAsker, *fakeGroup]{
 		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, Size: size, Asker: fakeAsker{g}, Group: g,
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -32,7 +32,7 @@
 	disk       = store.Store[codec.Codec, store.OSFileSystem]
 	moverDuty  = mover.Mover[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
 	moverParts = mover.Parts[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
-	keeperDuty = boot.Keeper[*peers.Client, *seat]
+	keeperDuty = boot.MembershipManager[*peers.Client, *seat]
 )
 
 // Pressure in permille at which waves slow down and halt, and the score at
