--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -295,7 +295,7 @@
 		}
 	}
 	assert.Equal(t, retired, fleet.MaxRetired)
-	assert.Equal(t, len(s.Touches), fleet.MaxTouches)
+	assert.Equal(t, len(s.TableChanges), fleet.MaxTouches)
 	late := model.Table{}
 	assert.Assert(t, s.Delta(1).Full, "a reader behind the touches gets the whole table")
 	assert.Assert(t, fleet.Merge(&late, s.Delta(1)))
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -65,9 +65,9 @@
 	// Authors names who last changed or removed an object, for conflicts; at
 	// most MaxRemoved of the objects do not exist any more.
 	Authors map[string]Author
-	// Touches lists the latest table changes in ascending order of version;
+	// TableChanges lists the latest table changes in ascending order of version;
 	// at most MaxTouches.
-	Touches []TableChange
+	TableChanges []TableChange
 	// Jobs is the submitted work.
 	Jobs *jobs.State
 }
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -140,11 +140,11 @@
 
 func (s *State) touch(t TableChange) {
 	s.Version = t.Version
-	s.Touches = append(s.Touches, t)
-	if over := len(s.Touches) - MaxTouches; over > 0 {
+	s.TableChanges = append(s.TableChanges, t)
+	if over := len(s.TableChanges) - MaxTouches; over > 0 {
 		// The front is cut off without a copy; append moves the rest to a new
 		// array when this one is full.
-		s.Touches = s.Touches[over:]
+		s.TableChanges = s.TableChanges[over:]
 	}
 }
 
@@ -161,8 +161,8 @@
 	d := model.Delta{From: from, To: s.Version}
 	seenContract := map[model.Customer]bool{}
 	seenInstance := map[model.InstanceID]bool{}
-	for i := len(s.Touches) - 1; i >= 0 && s.Touches[i].Version > from; i-- {
-		t := s.Touches[i]
+	for i := len(s.TableChanges) - 1; i >= 0 && s.TableChanges[i].Version > from; i-- {
+		t := s.TableChanges[i]
 		if t.Contract != "" && !seenContract[t.Contract] {
 			seenContract[t.Contract] = true
 			s.addContract(&d, t.Contract)
@@ -193,10 +193,10 @@
 
 // covers reports whether the touches hold every change after from.
 func (s *State) covers(from model.Version) bool {
-	if len(s.Touches) < MaxTouches {
+	if len(s.TableChanges) < MaxTouches {
 		return true
 	}
-	return s.Touches[0].Version <= from
+	return s.TableChanges[0].Version <= from
 }
 
 func (s *State) fullDelta() model.Delta {
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -23,7 +23,7 @@
 		Contracts:   list(sorted(s.Contracts), ContractToWire),
 		Instances:   list(sorted(s.Instances), InstanceToWire),
 		Maintenance: list(sorted(s.Maintenance), MaintenanceToWire),
-		Touches:     list(s.Touches, touchToWire),
+		Touches:     list(s.TableChanges, touchToWire),
 		Outages:     list(s.Outages, OutageToWire),
 		Jobs:        JobsToWire(s.Jobs),
 	}
@@ -99,7 +99,7 @@
 			return nil, stateError(KindRange, "touch %d after %d at version %d", t.GetVersion(), last, s.Version)
 		}
 		last = t.GetVersion()
-		s.Touches = append(s.Touches, fleet.TableChange{
+		s.TableChanges = append(s.TableChanges, fleet.TableChange{
 			Version:  model.Version(last),
 			Contract: model.Customer(t.GetContract()),
 			Instance: model.InstanceID(t.GetInstance()),
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -43,7 +43,7 @@
 	}
 	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
 	s.Authors["contract x"] = fleet.Author{Name: "ana", Version: 7}
-	s.Touches = []fleet.TableChange{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
+	s.TableChanges = []fleet.TableChange{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
 	s.Jobs.Apply(some(t, anyOp), 70_000)
 	return s
 }
