--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -285,7 +285,7 @@
 			put(model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{{Base: s.Instances[i.ID].Version, Instance: i}}})
 		}
 	}
-	for range fleet.MaxTouches {
+	for range fleet.MaxTableChanges {
 		put(model.Change{Kind: model.ChangeContractApply, Base: s.Contracts["x"].Version, Contract: model.Contract{Customer: "x"}})
 	}
 	retired := 0
@@ -295,7 +295,7 @@
 		}
 	}
 	assert.Equal(t, retired, fleet.MaxRetired)
-	assert.Equal(t, len(s.TableChanges), fleet.MaxTouches)
+	assert.Equal(t, len(s.TableChanges), fleet.MaxTableChanges)
 	late := model.Table{}
 	assert.Assert(t, s.Delta(1).Full, "a reader behind the touches gets the whole table")
 	assert.Assert(t, fleet.Merge(&late, s.Delta(1)))
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -23,9 +23,9 @@
 	MaxGone = 1000
 	// MaxRuns bounds the entry processes whose incarnation is remembered.
 	MaxRuns = 1000
-	// MaxTouches is the number of table changes that a delta can span; a
+	// MaxTableChanges is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
-	MaxTouches = 10_000
+	MaxTableChanges = 10_000
 	// MaxRemoved is the number of removed objects whose removal is remembered
 	// to name the winner of a conflict. Operators notice a conflict within
 	// hours; the target scale has 2,300 changes a day.
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -141,7 +141,7 @@
 func (s *State) touch(t TableChange) {
 	s.Version = t.Version
 	s.TableChanges = append(s.TableChanges, t)
-	if over := len(s.TableChanges) - MaxTouches; over > 0 {
+	if over := len(s.TableChanges) - MaxTableChanges; over > 0 {
 		// The front is cut off without a copy; append moves the rest to a new
 		// array when this one is full.
 		s.TableChanges = s.TableChanges[over:]
@@ -193,7 +193,7 @@
 
 // covers reports whether the touches hold every change after from.
 func (s *State) covers(from model.Version) bool {
-	if len(s.TableChanges) < MaxTouches {
+	if len(s.TableChanges) < MaxTableChanges {
 		return true
 	}
 	return s.TableChanges[0].Version <= from
