--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -18,7 +18,7 @@
 		case claim.Token == "" || claim.Key.Key == "":
 			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: model.ClaimUnknown})
 		case !ok:
-			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Run: c.Incarnation}, s.Time)
+			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Incarnation: c.Incarnation}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		case held.Token == claim.Token && held.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
@@ -42,7 +42,7 @@
 		return
 	}
 	s.Claims.Each(func(k model.ClaimKey, c HeldClaim, _ clock.Millis) {
-		if c.Owner == p && c.Run < run && c.State == model.ClaimRunning {
+		if c.Owner == p && c.Incarnation < run && c.State == model.ClaimRunning {
 			c.State = model.ClaimUnknown
 			s.Claims.Update(k, c)
 		}
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -77,10 +77,10 @@
 	Token string
 	// Owner and Run name the entry process that runs the request, and its
 	// incarnation.
-	Owner  model.Process
-	Run    uint64
-	State  model.ClaimState
-	Status int
+	Owner       model.Process
+	Incarnation uint64
+	State       model.ClaimState
+	Status      int
 }
 
 // Author is who last changed an object and by which change.
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -41,7 +41,7 @@
 			Key:    ClaimKeyToWire(k),
 			Token:  text(c.Token),
 			Owner:  text(c.Owner),
-			Run:    c.Run,
+			Run:    c.Incarnation,
 			State:  int32(c.State),
 			Status: int64(c.Status),
 			TimeMs: int64(t),
@@ -200,7 +200,7 @@
 		}
 		last = t
 		s.Claims.Put(k, fleet.HeldClaim{
-			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Run: m.GetRun(),
+			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Incarnation: m.GetRun(),
 			State: state, Status: int(m.GetStatus()),
 		}, t)
 	}
