--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -33,11 +33,11 @@
 // earlier runs have ended with them, so what is known of those that were
 // running becomes unknown. The claims are looked at once for each run.
 func (s *State) beginRun(p model.Process, run uint64) {
-	held, known := s.Runs[p]
-	if p == "" || run <= held || (!known && len(s.Runs) >= MaxRuns) {
+	held, known := s.Incarnations[p]
+	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxRuns) {
 		return
 	}
-	s.Runs[p] = run
+	s.Incarnations[p] = run
 	if !known {
 		return
 	}
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -56,9 +56,9 @@
 	// Gone holds the entry processes that were declared gone, with the time of
 	// the declaration: runs that started before it have ended. At most MaxGone.
 	Gone map[model.Process]clock.Millis
-	// Runs holds the latest incarnation of each entry process that claimed; at
+	// Incarnations holds the latest incarnation of each entry process that claimed; at
 	// most MaxRuns, and each only grows.
-	Runs map[model.Process]uint64
+	Incarnations map[model.Process]uint64
 	// Outages lists the finished outages in the order of their ends; at most
 	// MaxOutages. Budgets are computed from them, also by a new leader.
 	Outages []model.Outage
@@ -99,15 +99,15 @@
 // New returns the empty state.
 func New() *State {
 	return &State{
-		Contracts:   map[model.Customer]model.Contract{},
-		Instances:   map[model.InstanceID]model.Instance{},
-		Maintenance: map[string]model.Maintenance{},
-		Results:     NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
-		Claims:      NewExpiringMap[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
-		Authors:     map[string]Author{},
-		Gone:        map[model.Process]clock.Millis{},
-		Runs:        map[model.Process]uint64{},
-		Jobs:        jobs.New(),
+		Contracts:    map[model.Customer]model.Contract{},
+		Instances:    map[model.InstanceID]model.Instance{},
+		Maintenance:  map[string]model.Maintenance{},
+		Results:      NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
+		Claims:       NewExpiringMap[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
+		Authors:      map[string]Author{},
+		Gone:         map[model.Process]clock.Millis{},
+		Incarnations: map[model.Process]uint64{},
+		Jobs:         jobs.New(),
 	}
 }
 
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -27,8 +27,8 @@
 		Outages:     list(s.Outages, OutageToWire),
 		Jobs:        JobsToWire(s.Jobs),
 	}
-	for _, p := range slices.Sorted(maps.Keys(s.Runs)) {
-		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Runs[p]})
+	for _, p := range slices.Sorted(maps.Keys(s.Incarnations)) {
+		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Incarnations[p]})
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.Gone)) {
 		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.Gone[p])})
@@ -114,7 +114,7 @@
 		if r.GetProcess() == "" {
 			return nil, stateError(KindMissing, "a run has no process")
 		}
-		s.Runs[model.Process(r.GetProcess())] = r.GetIncarnation()
+		s.Incarnations[model.Process(r.GetProcess())] = r.GetIncarnation()
 	}
 	for _, g := range w.GetGone() {
 		if g.GetProcess() == "" {
