--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -34,7 +34,7 @@
 // running becomes unknown. The claims are looked at once for each run.
 func (s *State) beginRun(p model.Process, run uint64) {
 	held, known := s.Incarnations[p]
-	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxRuns) {
+	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxIncarnations) {
 		return
 	}
 	s.Incarnations[p] = run
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -21,8 +21,8 @@
 	MaxOutages = 100_000
 	// MaxGone bounds the entry processes that are remembered as gone.
 	MaxGone = 1000
-	// MaxRuns bounds the entry processes whose incarnation is remembered.
-	MaxRuns = 1000
+	// MaxIncarnations bounds the entry processes whose incarnation is remembered.
+	MaxIncarnations = 1000
 	// MaxTableChanges is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
 	MaxTableChanges = 10_000
