--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -95,7 +95,7 @@
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
-	c.Gone = maps.Clone(s.Gone)
+	c.Gone = maps.Clone(s.GoneProcesses)
 	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != after; i-- {
 		c.Outages = append(c.Outages, s.Outages[i])
 	}
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -60,10 +60,10 @@
 	if c.Process == "" {
 		return invalid("the change names no process")
 	}
-	if _, known := s.Gone[c.Process]; !known && len(s.Gone) >= MaxGone {
+	if _, known := s.GoneProcesses[c.Process]; !known && len(s.GoneProcesses) >= MaxGone {
 		return invalid(fmt.Sprintf("%d processes are remembered as gone already", MaxGone))
 	}
-	s.Gone[c.Process] = s.Time
+	s.GoneProcesses[c.Process] = s.Time
 	return model.Result{Version: index}
 }
 
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -53,9 +53,9 @@
 	Results *ExpiringMap[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
 	Claims *ExpiringMap[model.ClaimKey, HeldClaim]
-	// Gone holds the entry processes that were declared gone, with the time of
+	// GoneProcesses holds the entry processes that were declared gone, with the time of
 	// the declaration: runs that started before it have ended. At most MaxGone.
-	Gone map[model.Process]clock.Millis
+	GoneProcesses map[model.Process]clock.Millis
 	// Incarnations holds the latest incarnation of each entry process that claimed; at
 	// most MaxRuns, and each only grows.
 	Incarnations map[model.Process]uint64
@@ -99,15 +99,15 @@
 // New returns the empty state.
 func New() *State {
 	return &State{
-		Contracts:    map[model.Customer]model.Contract{},
-		Instances:    map[model.InstanceID]model.Instance{},
-		Maintenance:  map[string]model.Maintenance{},
-		Results:      NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
-		Claims:       NewExpiringMap[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
-		Authors:      map[string]Author{},
-		Gone:         map[model.Process]clock.Millis{},
-		Incarnations: map[model.Process]uint64{},
-		Jobs:         jobs.New(),
+		Contracts:     map[model.Customer]model.Contract{},
+		Instances:     map[model.InstanceID]model.Instance{},
+		Maintenance:   map[string]model.Maintenance{},
+		Results:       NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
+		Claims:        NewExpiringMap[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
+		Authors:       map[string]Author{},
+		GoneProcesses: map[model.Process]clock.Millis{},
+		Incarnations:  map[model.Process]uint64{},
+		Jobs:          jobs.New(),
 	}
 }
 
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -30,8 +30,8 @@
 	for _, p := range slices.Sorted(maps.Keys(s.Incarnations)) {
 		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Incarnations[p]})
 	}
-	for _, p := range slices.Sorted(maps.Keys(s.Gone)) {
-		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.Gone[p])})
+	for _, p := range slices.Sorted(maps.Keys(s.GoneProcesses)) {
+		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.GoneProcesses[p])})
 	}
 	s.Results.Each(func(k model.RequestID, r model.Result, t clock.Millis) {
 		w.Results = append(w.Results, &wirepb.RememberedResult{Request: text(k), Result: ResultToWire(r), TimeMs: int64(t)})
@@ -120,7 +120,7 @@
 		if g.GetProcess() == "" {
 			return nil, stateError(KindMissing, "a process that is gone has no name")
 		}
-		s.Gone[model.Process(g.GetProcess())] = clock.Millis(g.GetTimeMs())
+		s.GoneProcesses[model.Process(g.GetProcess())] = clock.Millis(g.GetTimeMs())
 	}
 	for _, a := range w.GetAuthors() {
 		if a.GetName() == "" {
