--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -60,8 +60,8 @@
 	if c.Process == "" {
 		return invalid("the change names no process")
 	}
-	if _, known := s.GoneProcesses[c.Process]; !known && len(s.GoneProcesses) >= MaxGone {
-		return invalid(fmt.Sprintf("%d processes are remembered as gone already", MaxGone))
+	if _, known := s.GoneProcesses[c.Process]; !known && len(s.GoneProcesses) >= MaxGoneProcesses {
+		return invalid(fmt.Sprintf("%d processes are remembered as gone already", MaxGoneProcesses))
 	}
 	s.GoneProcesses[c.Process] = s.Time
 	return model.Result{Version: index}
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -19,8 +19,8 @@
 	// MaxOutages bounds the remembered outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
-	// MaxGone bounds the entry processes that are remembered as gone.
-	MaxGone = 1000
+	// MaxGoneProcesses bounds the entry processes that are remembered as gone.
+	MaxGoneProcesses = 1000
 	// MaxIncarnations bounds the entry processes whose incarnation is remembered.
 	MaxIncarnations = 1000
 	// MaxTableChanges is the number of table changes that a delta can span; a
