--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -50,11 +50,11 @@
 // Note explains one decision. Task and Run are set for a decision on a run, and
 // Task.Job alone for one on a job.
 type Note struct {
-	What   Decision
-	Task   jobs.TaskID
-	Run    int
-	Worker jobs.WorkerID
-	Reason string
+	Decision Decision
+	Task     jobs.TaskID
+	Run      int
+	Worker   jobs.WorkerID
+	Reason   string
 	// Failure is set for a decision that a caller may complain about; its line
 	// is kept when others are dropped.
 	Failure bool
@@ -62,15 +62,15 @@
 
 // noteRun explains a decision on a run.
 func (b *Board[O, J]) noteRun(what Decision, r *run, w *worker, reason string) {
-	b.out.Notes = append(b.out.Notes, Note{What: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
+	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
 }
 
 // noteJob explains a decision on a whole job.
 func (b *Board[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
-	b.out.Notes = append(b.out.Notes, Note{What: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Failure: failure})
+	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Failure: failure})
 }
 
 // noteFleet explains a decision on machines or pools.
 func (b *Board[O, J]) noteFleet(what Decision, reason string) {
-	b.out.Notes = append(b.out.Notes, Note{What: what, Reason: reason})
+	b.out.Notes = append(b.out.Notes, Note{Decision: what, Reason: reason})
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -122,13 +122,13 @@
 			level = log.WarnLevel
 		}
 		switch {
-		case n.What == sched.DecisionStarted:
+		case n.Decision == sched.DecisionStarted:
 		case n.Task.Job == "":
-			c.log.Log(level, string(n.What), "reason", n.Reason)
+			c.log.Log(level, string(n.Decision), "reason", n.Reason)
 		case n.Run == 0:
-			c.log.Log(level, string(n.What), "job", n.Task.Job, "reason", n.Reason)
+			c.log.Log(level, string(n.Decision), "job", n.Task.Job, "reason", n.Reason)
 		default:
-			c.log.Log(level, string(n.What), "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step,
+			c.log.Log(level, string(n.Decision), "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step,
 				"index", n.Task.Index, "run", n.Run, "worker", n.Worker, "reason", n.Reason)
 		}
 	}
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -24,11 +24,11 @@
 	c := &Control{log: l}
 	task := jobs.TaskID{Job: "j-1", Occurrence: 1, Step: 2, Index: 3}
 	c.logNotes([]sched.Note{
-		{What: sched.DecisionAccepted, Task: jobs.TaskID{Job: "j-1"}, Reason: "queue q at version 3"},
-		{What: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
-		{What: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
-		{What: sched.DecisionFailed, Task: jobs.TaskID{Job: "j-1"}, Reason: "after 9 ms", Failure: true},
-		{What: sched.DecisionMoved, Reason: "m-1 to p"},
+		{Decision: sched.DecisionAccepted, Task: jobs.TaskID{Job: "j-1"}, Reason: "queue q at version 3"},
+		{Decision: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
+		{Decision: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
+		{Decision: sched.DecisionFailed, Task: jobs.TaskID{Job: "j-1"}, Reason: "after 9 ms", Failure: true},
+		{Decision: sched.DecisionMoved, Reason: "m-1 to p"},
 	})
 	golden.Assert(t, out.String(), "note-lines.txt")
 }
