--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -55,9 +55,9 @@
 	Run      int
 	Worker   jobs.WorkerID
 	Reason   string
-	// Failure is set for a decision that a caller may complain about; its line
+	// Important is set for a decision that a caller may complain about; its line
 	// is kept when others are dropped.
-	Failure bool
+	Important bool
 }
 
 // noteRun explains a decision on a run.
@@ -67,7 +67,7 @@
 
 // noteJob explains a decision on a whole job.
 func (b *Board[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
-	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Failure: failure})
+	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: failure})
 }
 
 // noteFleet explains a decision on machines or pools.
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -118,7 +118,7 @@
 func (c *Control) logNotes(all []sched.Note) {
 	for _, n := range all {
 		level := log.InfoLevel
-		if n.Failure {
+		if n.Important {
 			level = log.WarnLevel
 		}
 		switch {
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -27,7 +27,7 @@
 		{Decision: sched.DecisionAccepted, Task: jobs.TaskID{Job: "j-1"}, Reason: "queue q at version 3"},
 		{Decision: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
 		{Decision: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
-		{Decision: sched.DecisionFailed, Task: jobs.TaskID{Job: "j-1"}, Reason: "after 9 ms", Failure: true},
+		{Decision: sched.DecisionFailed, Task: jobs.TaskID{Job: "j-1"}, Reason: "after 9 ms", Important: true},
 		{Decision: sched.DecisionMoved, Reason: "m-1 to p"},
 	})
 	golden.Assert(t, out.String(), "note-lines.txt")
