--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -31,7 +31,7 @@
 			of(u.Pool).Running += u.Running
 		}
 	})
-	d.loans.Each(func(h *lend.HeldLoan) {
+	d.loans.EachHeld(func(h *lend.HeldLoan) {
 		if h.Running > 0 {
 			of(h.Pool).Running += h.Running
 		}
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -130,8 +130,8 @@
 	return n
 }
 
-// Each calls f for every loan held.
-func (l *Ledger[P]) Each(f func(*HeldLoan)) {
+// EachHeld calls f for every loan held.
+func (l *Ledger[P]) EachHeld(f func(*HeldLoan)) {
 	for _, h := range l.held {
 		f(h)
 	}
