--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -131,7 +131,7 @@
 // noteBorrowing writes an event when the first loan of a pool came or the last
 // one ended.
 func (d *Dispatcher[P, Q, L]) noteBorrowing(now clock.Millis) {
-	d.loans.Pools(func(p model.Pool) {
+	d.loans.EachPool(func(p model.Pool) {
 		slots := d.loans.Room(now, p)
 		if d.borrowing[p] != (slots > 0) {
 			d.borrowing[p] = slots > 0
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// Pools calls f for each pool in which this process has borrowed.
-func (l *Ledger[P]) Pools(f func(model.Pool)) {
+// EachPool calls f for each pool in which this process has borrowed.
+func (l *Ledger[P]) EachPool(f func(model.Pool)) {
 	for p := range l.pools {
 		f(p)
 	}
