--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -84,8 +84,8 @@
 	Removed    func(raft.MemberID)
 }
 
-// NewKeeper returns a keeper; Run must be called for it to do anything.
-func NewKeeper[A Asker, M Membership](p KeeperParts[A, M]) *MembershipManager[A, M] {
+// NewMembershipManager returns a keeper; Run must be called for it to do anything.
+func NewMembershipManager[A Asker, M Membership](p KeeperParts[A, M]) *MembershipManager[A, M] {
 	k := &MembershipManager[A, M]{
 		self: p.Self, member: p.Member, size: p.Size, asker: p.Asker, group: p.Group, clock: p.Clock,
 		done: make(chan struct{}), joined: p.Joined, removed: p.Removed, silent: map[raft.MemberID]clock.Millis{},
