--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -93,9 +93,9 @@
 	Now          clock.Millis
 }
 
-// Judge decides on a contract. Nothing that falls short is left out of the
+// Evaluate decides on a contract. Nothing that falls short is left out of the
 // verdict.
-func Judge[S Severity, P Slots](severity S, slots P, set Settings, q Question) Verdict {
+func Evaluate[S Severity, P Slots](severity S, slots P, set Settings, q Question) Verdict {
 	var v Verdict
 	if err := CheckForm(q.Contract); err != nil {
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -83,7 +83,7 @@
 		{"slots", rebase(func(q *Question) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
 		{"form", rebase(func(q *Question) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
 	} {
-		v := Judge(Stated{}, LowestSlots{}, set, c.q)
+		v := Evaluate(Stated{}, LowestSlots{}, set, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
 		if c.kind == "" {
 			assert.Equal(t, len(v.Shortfalls), 0, c.name)
@@ -92,7 +92,7 @@
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
 		assert.Equal(t, [2]int64{s.Need, s.Have}, [2]int64{c.need, c.have}, c.name)
-		assert.Equal(t, Judge(Strict{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
+		assert.Equal(t, Evaluate(Strict{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
 	}
@@ -164,7 +164,7 @@
 			for k := range 300 {
 				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
-				v := Judge(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Question{Contract: c, Fleet: f})
+				v := Evaluate(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Question{Contract: c, Fleet: f})
 				count[v.Decision]++
 				if v.Decision != Refuse && Promised(c)+c.Spare > 50 {
 					broken++
