--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -54,14 +54,14 @@
 	Refuse      Decision = "refuse"
 )
 
-// Verdict is a decision with every shortfall found.
-type Verdict struct {
+// Evaluation is a decision with every shortfall found.
+type Evaluation struct {
 	Decision   Decision
 	Shortfalls []Shortfall
 }
 
 // Err returns the refusal as an error of KindShort; nil for an acceptance.
-func (v Verdict) Err() error {
+func (v Evaluation) Err() error {
 	if v.Decision != Refuse {
 		return nil
 	}
@@ -95,8 +95,8 @@
 
 // Evaluate decides on a contract. Nothing that falls short is left out of the
 // verdict.
-func Evaluate[S Severity, P Slots](severity S, slots P, set Settings, q Question) Verdict {
-	var v Verdict
+func Evaluate[S Severity, P Slots](severity S, slots P, set Settings, q Question) Evaluation {
+	var v Evaluation
 	if err := CheckForm(q.Contract); err != nil {
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
 	} else {
