--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -12,7 +12,7 @@
 // those of declarations and that of the periodic goal. In pools that the
 // customer shares with another one, the budget of either bounds maintenance,
 // so the other's deadlines are stated too.
-func shortMaintenance(set Settings, q Question) []Shortfall {
+func shortMaintenance(set Settings, q Input) []Shortfall {
 	var out []Shortfall
 	own := poolsOf(q.Contract)
 	for _, m := range q.Declarations {
@@ -54,7 +54,7 @@
 	return n
 }
 
-func shortDeadline(set Settings, q Question, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
+func shortDeadline(set Settings, q Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
 	if have := byWidth(set, q.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -82,8 +82,8 @@
 	PeriodMillis clock.Millis
 }
 
-// Question is a contract to be judged and what surrounds it.
-type Question struct {
+// Input is a contract to be judged and what surrounds it.
+type Input struct {
 	Contract model.Contract
 	// Others holds every other accepted contract; an entry of the same
 	// customer is ignored.
@@ -95,7 +95,7 @@
 
 // Evaluate decides on a contract. Nothing that falls short is left out of the
 // verdict.
-func Evaluate[S Severity, P Slots](severity S, slots P, set Settings, q Question) Evaluation {
+func Evaluate[S Severity, P Slots](severity S, slots P, set Settings, q Input) Evaluation {
 	var v Evaluation
 	if err := CheckForm(q.Contract); err != nil {
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
@@ -119,7 +119,7 @@
 	return v
 }
 
-func allContracts(q Question) []model.Contract {
+func allContracts(q Input) []model.Contract {
 	all := []model.Contract{q.Contract}
 	for _, c := range q.Others {
 		if c.Customer != q.Contract.Customer {
@@ -148,7 +148,7 @@
 // shortSpare compares the spare with the loss of the worst covered domain
 // under the best possible spread. The domain's spare instances are lost with
 // it, so the spare must hold as many as the customer has in the domain.
-func shortSpare(q Question) []Shortfall {
+func shortSpare(q Input) []Shortfall {
 	c := q.Contract
 	total := Promised(c) + c.Spare
 	sizes := domainSizes(q.Fleet, c.Covers)
@@ -220,7 +220,7 @@
 }
 
 // shortSlots states a concurrency that the promised instances cannot run.
-func shortSlots[P Slots](slots P, q Question) []Shortfall {
+func shortSlots[P Slots](slots P, q Input) []Shortfall {
 	open := q.Contract
 	open.Concurrency = 0
 	have := concurrency(slots, open, q.Fleet).Value
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -51,37 +51,37 @@
 // Guards against a shortfall that goes unstated or has the wrong numbers.
 func TestJudgeStatesShortfalls(t *testing.T) {
 	set := Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
-	rebase := func(f func(*Question)) Question {
-		q := Question{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
+	rebase := func(f func(*Input)) Input {
+		q := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
 		f(&q)
 		return q
 	}
 	for _, c := range []struct {
 		name       string
-		q          Question
+		q          Input
 		decision   Decision
 		kind       ShortKind
 		need, have int64
 	}{
-		{"fits", rebase(func(*Question) {}), Accept, "", 0, 0},
-		{"zone", rebase(func(q *Question) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortSpare, 17, 8},
-		{"owned", rebase(func(q *Question) {
+		{"fits", rebase(func(*Input) {}), Accept, "", 0, 0},
+		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortSpare, 17, 8},
+		{"owned", rebase(func(q *Input) {
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
 		}), Refuse, ShortInstances, 51, 50},
-		{"width", rebase(func(q *Question) {
+		{"width", rebase(func(q *Input) {
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
 		}), AcceptShort, ShortWidth, 50, 24},
-		{"budget", rebase(func(q *Question) {
+		{"budget", rebase(func(q *Input) {
 			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
 		}), AcceptShort, ShortBudget, 50, 12},
-		{"shared", rebase(func(q *Question) {
+		{"shared", rebase(func(q *Input) {
 			q.Contract.Pools[0].Instances = 40
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
 		}), AcceptShort, ShortWidth, 42, 0},
-		{"quota", rebase(func(q *Question) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
-		{"slots", rebase(func(q *Question) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
-		{"form", rebase(func(q *Question) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
+		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
+		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
+		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
 	} {
 		v := Evaluate(Stated{}, LowestSlots{}, set, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
@@ -105,7 +105,7 @@
 		n := rapid.IntRange(3, 12).Draw(t, "n")
 		spare := rapid.IntRange(0, n-1).Draw(t, "spare")
 		promised := rapid.IntRange(1, n-spare).Draw(t, "promised")
-		q := Question{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
+		q := Input{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
 		short := len(shortSpare(q)) > 0
 		sizes, total, fits := domainSizes(q.Fleet, model.DomainZone), promised+spare, false
 		for a := 0; a <= sizes[0].n; a++ {
@@ -164,7 +164,7 @@
 			for k := range 300 {
 				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
-				v := Evaluate(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Question{Contract: c, Fleet: f})
+				v := Evaluate(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
 				if v.Decision != Refuse && Promised(c)+c.Spare > 50 {
 					broken++
--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -29,7 +29,7 @@
 	if c.Kind != model.ChangeContractApply {
 		return "", ""
 	}
-	q := limits.Question{
+	q := limits.Input{
 		Contract: c.Contract,
 		Fleet:    limits.NewFleet(s.Instances, model.Quota{}),
 		Now:      k.clock.Now(),
