--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -95,7 +95,7 @@
 
 // Evaluate decides on a contract. Nothing that falls short is left out of the
 // verdict.
-func Evaluate[S Severity, P Slots](severity S, slots P, set Settings, q Input) Evaluation {
+func Evaluate[S RefusalPolicy, P Slots](severity S, slots P, set Settings, q Input) Evaluation {
 	var v Evaluation
 	if err := CheckForm(q.Contract); err != nil {
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -153,7 +153,7 @@
 	judged(b, "form-only", FormOnly{})
 }
 
-func judged[S Severity](b *testing.B, name string, severity S) {
+func judged[S RefusalPolicy](b *testing.B, name string, severity S) {
 	b.Run(name, func(b *testing.B) {
 		count := map[Decision]float64{}
 		broken := 0.0
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -38,8 +38,8 @@
 // PerInstance returns N.
 func (p FixedSlots) PerInstance([]int) int { return p.N }
 
-// Severity is the policy that says which shortfalls refuse a contract.
-type Severity interface {
+// RefusalPolicy is the policy that says which shortfalls refuse a contract.
+type RefusalPolicy interface {
 	Refuses(Shortfall) bool
 }
 
