--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -83,7 +83,7 @@
 		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
 		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
 	} {
-		v := Evaluate(Stated{}, LowestSlots{}, set, c.q)
+		v := Evaluate(RefuseImpossible{}, LowestSlots{}, set, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
 		if c.kind == "" {
 			assert.Equal(t, len(v.Shortfalls), 0, c.name)
@@ -148,7 +148,7 @@
 // sixty instances, and how many it accepts that need more instances than are
 // owned.
 func BenchmarkSeverity(b *testing.B) {
-	judged(b, "stated", Stated{})
+	judged(b, "stated", RefuseImpossible{})
 	judged(b, "strict", Strict{})
 	judged(b, "form-only", FormOnly{})
 }
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -43,12 +43,14 @@
 	Refuses(Shortfall) bool
 }
 
-// Stated refuses a contract that contradicts itself or takes instances that
+// RefuseImpossible refuses a contract that contradicts itself or takes instances that
 // are not owned. Every other shortfall is stated and the contract accepted.
-type Stated struct{}
+type RefuseImpossible struct{}
 
 // Refuses reports whether s makes the contract impossible.
-func (Stated) Refuses(s Shortfall) bool { return s.Kind == ShortForm || s.Kind == ShortInstances }
+func (RefuseImpossible) Refuses(s Shortfall) bool {
+	return s.Kind == ShortForm || s.Kind == ShortInstances
+}
 
 // Strict refuses a contract with any shortfall.
 type Strict struct{}
