--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -92,7 +92,7 @@
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
 		assert.Equal(t, [2]int64{s.Need, s.Have}, [2]int64{c.need, c.have}, c.name)
-		assert.Equal(t, Evaluate(Strict{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
+		assert.Equal(t, Evaluate(RefuseAny{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
 	}
@@ -149,7 +149,7 @@
 // owned.
 func BenchmarkSeverity(b *testing.B) {
 	judged(b, "stated", RefuseImpossible{})
-	judged(b, "strict", Strict{})
+	judged(b, "strict", RefuseAny{})
 	judged(b, "form-only", FormOnly{})
 }
 
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -52,11 +52,11 @@
 	return s.Kind == ShortForm || s.Kind == ShortInstances
 }
 
-// Strict refuses a contract with any shortfall.
-type Strict struct{}
+// RefuseAny refuses a contract with any shortfall.
+type RefuseAny struct{}
 
 // Refuses returns true.
-func (Strict) Refuses(Shortfall) bool { return true }
+func (RefuseAny) Refuses(Shortfall) bool { return true }
 
 // FormOnly is the baseline: it refuses only a contract that contradicts
 // itself, and states the rest.
