--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -150,7 +150,7 @@
 func BenchmarkSeverity(b *testing.B) {
 	judged(b, "stated", RefuseImpossible{})
 	judged(b, "strict", RefuseAny{})
-	judged(b, "form-only", FormOnly{})
+	judged(b, "form-only", RefuseInvalid{})
 }
 
 func judged[S RefusalPolicy](b *testing.B, name string, severity S) {
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -58,9 +58,9 @@
 // Refuses returns true.
 func (RefuseAny) Refuses(Shortfall) bool { return true }
 
-// FormOnly is the baseline: it refuses only a contract that contradicts
+// RefuseInvalid is the baseline: it refuses only a contract that contradicts
 // itself, and states the rest.
-type FormOnly struct{}
+type RefuseInvalid struct{}
 
 // Refuses reports whether s is a contradiction inside the contract.
-func (FormOnly) Refuses(s Shortfall) bool { return s.Kind == ShortForm }
+func (RefuseInvalid) Refuses(s Shortfall) bool { return s.Kind == ShortForm }
