--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -106,14 +106,14 @@
 	}
 }
 
-// Slots is the policy that says how many slots one instance of a pool counts
+// SlotsPolicy is the policy that says how many slots one instance of a pool counts
 // for. The slots of the pool's instances come in ascending order.
-type Slots interface {
+type SlotsPolicy interface {
 	PerInstance(slots []int) int
 }
 
 // Derive returns every limit that the contract leads to.
-func Derive[P Slots](policy P, c model.Contract, f Fleet) Set {
+func Derive[P SlotsPolicy](policy P, c model.Contract, f Fleet) Set {
 	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
 	s.Queue = asked(Queue, c.Queue)
 	s.Retries = Limit{
@@ -165,7 +165,7 @@
 	return l
 }
 
-func concurrency[P Slots](policy P, c model.Contract, f Fleet) Limit {
+func concurrency[P SlotsPolicy](policy P, c model.Contract, f Fleet) Limit {
 	if c.Concurrency > 0 {
 		return asked(Concurrency, c.Concurrency)
 	}
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -95,7 +95,7 @@
 
 // Evaluate decides on a contract. Nothing that falls short is left out of the
 // verdict.
-func Evaluate[S RefusalPolicy, P Slots](severity S, slots P, set Settings, q Input) Evaluation {
+func Evaluate[S RefusalPolicy, P SlotsPolicy](severity S, slots P, set Settings, q Input) Evaluation {
 	var v Evaluation
 	if err := CheckForm(q.Contract); err != nil {
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
@@ -220,7 +220,7 @@
 }
 
 // shortSlots states a concurrency that the promised instances cannot run.
-func shortSlots[P Slots](slots P, q Input) []Shortfall {
+func shortSlots[P SlotsPolicy](slots P, q Input) []Shortfall {
 	open := q.Contract
 	open.Concurrency = 0
 	have := concurrency(slots, open, q.Fleet).Value
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -133,7 +133,7 @@
 	run(b, "fixed-8", FixedSlots{N: 8}, c, f)
 }
 
-func run[P Slots](b *testing.B, name string, p P, c model.Contract, f Fleet) {
+func run[P SlotsPolicy](b *testing.B, name string, p P, c model.Contract, f Fleet) {
 	b.Run(name, func(b *testing.B) {
 		var s Set
 		for b.Loop() {
