--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -39,7 +39,7 @@
 
 // Guards against a derived limit whose figures do not lead to its value.
 func TestDeriveKeepsDerivation(t *testing.T) {
-	s := Derive(LowestSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
+	s := Derive(MinSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
 	assert.Equal(t, s.Concurrency.Value, int64(336))
 	assert.Equal(t, s.Concurrency.Rule, RuleSlots)
 	assert.DeepEqual(t, s.Concurrency.Figures, []Figure{{"logs instances", 42}, {"logs slots", 8}})
@@ -83,7 +83,7 @@
 		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
 		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
 	} {
-		v := Evaluate(RefuseImpossible{}, LowestSlots{}, set, c.q)
+		v := Evaluate(RefuseImpossible{}, MinSlots{}, set, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
 		if c.kind == "" {
 			assert.Equal(t, len(v.Shortfalls), 0, c.name)
@@ -92,7 +92,7 @@
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
 		assert.Equal(t, [2]int64{s.Need, s.Have}, [2]int64{c.need, c.have}, c.name)
-		assert.Equal(t, Evaluate(RefuseAny{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
+		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, set, c.q).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
 	}
@@ -128,7 +128,7 @@
 		f.Instances[k].Slots = 4 + k%3*4
 	}
 	c := contract(42, 8, model.DomainRack)
-	run(b, "lowest", LowestSlots{}, c, f)
+	run(b, "lowest", MinSlots{}, c, f)
 	run(b, "mean", MeanSlots{}, c, f)
 	run(b, "fixed-8", FixedSlots{N: 8}, c, f)
 }
@@ -164,7 +164,7 @@
 			for k := range 300 {
 				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
-				v := Evaluate(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
+				v := Evaluate(severity, MinSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
 				if v.Decision != Refuse && Promised(c)+c.Spare > 50 {
 					broken++
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -1,11 +1,11 @@
 package limits
 
-// LowestSlots counts every instance of a pool like its smallest one, so that
+// MinSlots counts every instance of a pool like its smallest one, so that
 // the concurrency fits whichever instances are in service.
-type LowestSlots struct{}
+type MinSlots struct{}
 
 // PerInstance returns the smallest number.
-func (LowestSlots) PerInstance(slots []int) int {
+func (MinSlots) PerInstance(slots []int) int {
 	if len(slots) == 0 {
 		return 0
 	}
--- a/io/proto/report/limits.go
+++ b/io/proto/report/limits.go
@@ -15,7 +15,7 @@
 	for _, i := range instances {
 		byID[i.ID] = i
 	}
-	return limits.Derive(limits.LowestSlots{}, c, limits.NewFleet(byID, model.Quota{}))
+	return limits.Derive(limits.MinSlots{}, c, limits.NewFleet(byID, model.Quota{}))
 }
 
 // limitsTable shows how each limit follows from the contract.
--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -40,7 +40,7 @@
 	for _, m := range s.Maintenance {
 		q.Declarations = append(q.Declarations, m)
 	}
-	v := limits.Evaluate(limits.RefuseImpossible{}, limits.LowestSlots{}, k.set, q)
+	v := limits.Evaluate(limits.RefuseImpossible{}, limits.MinSlots{}, k.set, q)
 	if err := v.Err(); err != nil {
 		return err.Error(), ""
 	}
