--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -10,33 +10,33 @@
 	"camphorridge/core/state/model"
 )
 
-// ShortKind tells the shortfalls apart.
-type ShortKind string
+// ShortfallKind tells the shortfalls apart.
+type ShortfallKind string
 
 // The kinds of shortfall.
 const (
 	// ShortForm: the contract contradicts itself.
-	ShortForm ShortKind = "form"
+	ShortForm ShortfallKind = "form"
 	// ShortInstances: more instances are promised and reserved than owned.
-	ShortInstances ShortKind = "instances"
+	ShortInstances ShortfallKind = "instances"
 	// ShortSpare: the spare is smaller than the loss of the largest failure
 	// domain that the contract covers.
-	ShortSpare ShortKind = "spare"
+	ShortSpare ShortfallKind = "spare"
 	// ShortWidth: the instances cannot all be maintained by a deadline with
 	// max-unavailable at once.
-	ShortWidth ShortKind = "max-unavailable"
+	ShortWidth ShortfallKind = "max-unavailable"
 	// ShortBudget: the window budget allows too few maintenances before a
 	// deadline.
-	ShortBudget ShortKind = "budget"
+	ShortBudget ShortfallKind = "budget"
 	// ShortQuota: the quotas of all customers exceed the workers.
-	ShortQuota ShortKind = "quota"
+	ShortQuota ShortfallKind = "quota"
 	// ShortSlots: the concurrency asked exceeds what the instances hold.
-	ShortSlots ShortKind = "slots"
+	ShortSlots ShortfallKind = "slots"
 )
 
 // Shortfall is one way in which the fleet falls short of a contract.
 type Shortfall struct {
-	Kind ShortKind
+	Kind ShortfallKind
 	// Subject is what falls short: a zone, a rack, a declaration, a resource.
 	Subject string
 	Need    int64
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -60,7 +60,7 @@
 		name       string
 		q          Input
 		decision   Decision
-		kind       ShortKind
+		kind       ShortfallKind
 		need, have int64
 	}{
 		{"fits", rebase(func(*Input) {}), Accept, "", 0, 0},
