--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -15,8 +15,8 @@
 
 // The kinds of shortfall.
 const (
-	// ShortForm: the contract contradicts itself.
-	ShortForm ShortfallKind = "form"
+	// ShortfallInvalid: the contract contradicts itself.
+	ShortfallInvalid ShortfallKind = "form"
 	// ShortInstances: more instances are promised and reserved than owned.
 	ShortInstances ShortfallKind = "instances"
 	// ShortSpare: the spare is smaller than the loss of the largest failure
@@ -98,7 +98,7 @@
 func Evaluate[S RefusalPolicy, P SlotsPolicy](severity S, slots P, set Settings, q Input) Evaluation {
 	var v Evaluation
 	if err := CheckForm(q.Contract); err != nil {
-		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
+		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(q.Contract.Customer), Text: err.Error()})
 	} else {
 		all := allContracts(q)
 		v.Shortfalls = append(v.Shortfalls, shortInstances(all, q.Fleet)...)
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -81,7 +81,7 @@
 		}), AcceptShort, ShortWidth, 42, 0},
 		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
 		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
-		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
+		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
 		v := Evaluate(RefuseImpossible{}, MinSlots{}, set, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -49,7 +49,7 @@
 
 // Refuses reports whether s makes the contract impossible.
 func (RefuseImpossible) Refuses(s Shortfall) bool {
-	return s.Kind == ShortForm || s.Kind == ShortInstances
+	return s.Kind == ShortfallInvalid || s.Kind == ShortInstances
 }
 
 // RefuseAny refuses a contract with any shortfall.
@@ -63,4 +63,4 @@
 type RefuseInvalid struct{}
 
 // Refuses reports whether s is a contradiction inside the contract.
-func (RefuseInvalid) Refuses(s Shortfall) bool { return s.Kind == ShortForm }
+func (RefuseInvalid) Refuses(s Shortfall) bool { return s.Kind == ShortfallInvalid }
