--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -17,8 +17,8 @@
 const (
 	// ShortfallInvalid: the contract contradicts itself.
 	ShortfallInvalid ShortfallKind = "form"
-	// ShortInstances: more instances are promised and reserved than owned.
-	ShortInstances ShortfallKind = "instances"
+	// ShortfallInstances: more instances are promised and reserved than owned.
+	ShortfallInstances ShortfallKind = "instances"
 	// ShortSpare: the spare is smaller than the loss of the largest failure
 	// domain that the contract covers.
 	ShortSpare ShortfallKind = "spare"
@@ -139,7 +139,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortInstances, Subject: "fleet", Need: int64(promised + spare), Have: int64(len(f.Instances)),
+		Kind: ShortfallInstances, Subject: "fleet", Need: int64(promised + spare), Have: int64(len(f.Instances)),
 		Text: fmt.Sprintf("%d instances promised and %d reserved as spare by %d contracts; the fleet owns %d",
 			promised, spare, len(all), len(f.Instances)),
 	}}
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -67,7 +67,7 @@
 		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortSpare, 17, 8},
 		{"owned", rebase(func(q *Input) {
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
-		}), Refuse, ShortInstances, 51, 50},
+		}), Refuse, ShortfallInstances, 51, 50},
 		{"width", rebase(func(q *Input) {
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
 		}), AcceptShort, ShortWidth, 50, 24},
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -49,7 +49,7 @@
 
 // Refuses reports whether s makes the contract impossible.
 func (RefuseImpossible) Refuses(s Shortfall) bool {
-	return s.Kind == ShortfallInvalid || s.Kind == ShortInstances
+	return s.Kind == ShortfallInvalid || s.Kind == ShortfallInstances
 }
 
 // RefuseAny refuses a contract with any shortfall.
