--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -19,9 +19,9 @@
 	ShortfallInvalid ShortfallKind = "form"
 	// ShortfallInstances: more instances are promised and reserved than owned.
 	ShortfallInstances ShortfallKind = "instances"
-	// ShortSpare: the spare is smaller than the loss of the largest failure
+	// ShortfallSpare: the spare is smaller than the loss of the largest failure
 	// domain that the contract covers.
-	ShortSpare ShortfallKind = "spare"
+	ShortfallSpare ShortfallKind = "spare"
 	// ShortWidth: the instances cannot all be maintained by a deadline with
 	// max-unavailable at once.
 	ShortWidth ShortfallKind = "max-unavailable"
@@ -157,7 +157,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Need: int64(loss), Have: int64(c.Spare),
+		Kind: ShortfallSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Need: int64(loss), Have: int64(c.Spare),
 		Text: fmt.Sprintf("%s %s holds %d of the customer's %d instances even when they are spread evenly; the spare is %d",
 			c.Covers, name, loss, total, c.Spare),
 	}}
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -64,7 +64,7 @@
 		need, have int64
 	}{
 		{"fits", rebase(func(*Input) {}), Accept, "", 0, 0},
-		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortSpare, 17, 8},
+		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortfallSpare, 17, 8},
 		{"owned", rebase(func(q *Input) {
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
 		}), Refuse, ShortfallInstances, 51, 50},
