--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -58,7 +58,7 @@
 	var out []Shortfall
 	if have := byWidth(set, q.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
-			Kind: ShortWidth, Subject: name, Need: int64(n), Have: have,
+			Kind: ShortfallMaxUnavailable, Subject: name, Need: int64(n), Have: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
 				name, n, left, c.MaxUnavailable, set.MaintainMillis, have),
 		})
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -22,9 +22,9 @@
 	// ShortfallSpare: the spare is smaller than the loss of the largest failure
 	// domain that the contract covers.
 	ShortfallSpare ShortfallKind = "spare"
-	// ShortWidth: the instances cannot all be maintained by a deadline with
+	// ShortfallMaxUnavailable: the instances cannot all be maintained by a deadline with
 	// max-unavailable at once.
-	ShortWidth ShortfallKind = "max-unavailable"
+	ShortfallMaxUnavailable ShortfallKind = "max-unavailable"
 	// ShortBudget: the window budget allows too few maintenances before a
 	// deadline.
 	ShortBudget ShortfallKind = "budget"
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -70,7 +70,7 @@
 		}), Refuse, ShortfallInstances, 51, 50},
 		{"width", rebase(func(q *Input) {
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
-		}), AcceptShort, ShortWidth, 50, 24},
+		}), AcceptShort, ShortfallMaxUnavailable, 50, 24},
 		{"budget", rebase(func(q *Input) {
 			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
 		}), AcceptShort, ShortBudget, 50, 12},
@@ -78,7 +78,7 @@
 			q.Contract.Pools[0].Instances = 40
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
-		}), AcceptShort, ShortWidth, 42, 0},
+		}), AcceptShort, ShortfallMaxUnavailable, 42, 0},
 		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
 		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
 		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
