--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -65,7 +65,7 @@
 	}
 	if have := byBudget(set, c, left); int64(n) > have {
 		out = append(out, Shortfall{
-			Kind: ShortBudget, Subject: name, Need: int64(n), Have: have,
+			Kind: ShortfallBudget, Subject: name, Need: int64(n), Have: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
 				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintainMillis, have),
 		})
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -25,9 +25,9 @@
 	// ShortfallMaxUnavailable: the instances cannot all be maintained by a deadline with
 	// max-unavailable at once.
 	ShortfallMaxUnavailable ShortfallKind = "max-unavailable"
-	// ShortBudget: the window budget allows too few maintenances before a
+	// ShortfallBudget: the window budget allows too few maintenances before a
 	// deadline.
-	ShortBudget ShortfallKind = "budget"
+	ShortfallBudget ShortfallKind = "budget"
 	// ShortQuota: the quotas of all customers exceed the workers.
 	ShortQuota ShortfallKind = "quota"
 	// ShortSlots: the concurrency asked exceeds what the instances hold.
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -73,7 +73,7 @@
 		}), AcceptShort, ShortfallMaxUnavailable, 50, 24},
 		{"budget", rebase(func(q *Input) {
 			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
-		}), AcceptShort, ShortBudget, 50, 12},
+		}), AcceptShort, ShortfallBudget, 50, 12},
 		{"shared", rebase(func(q *Input) {
 			q.Contract.Pools[0].Instances = 40
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
