--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -28,8 +28,8 @@
 	// ShortfallBudget: the window budget allows too few maintenances before a
 	// deadline.
 	ShortfallBudget ShortfallKind = "budget"
-	// ShortQuota: the quotas of all customers exceed the workers.
-	ShortQuota ShortfallKind = "quota"
+	// ShortfallQuota: the quotas of all customers exceed the workers.
+	ShortfallQuota ShortfallKind = "quota"
 	// ShortSlots: the concurrency asked exceeds what the instances hold.
 	ShortSlots ShortfallKind = "slots"
 )
@@ -242,7 +242,7 @@
 	add := func(name Name, n, h int) {
 		if n > h {
 			out = append(out, Shortfall{
-				Kind: ShortQuota, Subject: string(name), Need: int64(n), Have: int64(h),
+				Kind: ShortfallQuota, Subject: string(name), Need: int64(n), Have: int64(h),
 				Text: fmt.Sprintf("quotas of %d contracts sum up to %d %s; the workers have %d", len(all), n, name, h),
 			})
 		}
