--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -350,7 +350,7 @@
 		r.notes(p.Notes)
 	}
 	r.flush(now)
-	r.sleep(now, min(p.Wake, now+idleMillis))
+	r.sleep(now, min(p.NextPass, now+idleMillis))
 }
 
 func (r *Runner[G, M, O, J]) count(o jobs.Op) {
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -55,7 +55,7 @@
 		p := r.Pass(r.now)
 		before := r.now
 		for len(p.Orders) == 0 {
-			r.now = max(p.Wake, r.now+1)
+			r.now = max(p.NextPass, r.now+1)
 			p = r.Pass(r.now)
 		}
 		answers++
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -24,7 +24,7 @@
 	b.surge(now)
 	b.answer(now)
 	plan := b.out
-	plan.Wake = b.wake(now)
+	plan.NextPass = b.wake(now)
 	b.out = Plan{}
 	return plan
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -204,6 +204,6 @@
 	Actions []Action
 	// Notes explain the decisions of the pass.
 	Notes []Note
-	// Wake is when the next pass is due if nothing happens before.
-	Wake clock.Millis
+	// NextPass is when the next pass is due if nothing happens before.
+	NextPass clock.Millis
 }
