--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -71,8 +71,8 @@
 	silent map[raft.MemberID]clock.Millis
 }
 
-// KeeperParts are what a keeper works with.
-type KeeperParts[A Asker, M Membership] struct {
+// Config are what a keeper works with.
+type Config[A Asker, M Membership] struct {
 	Self       Hello
 	Member     raft.Member
 	Configured []model.Member
@@ -85,7 +85,7 @@
 }
 
 // NewMembershipManager returns a keeper; Run must be called for it to do anything.
-func NewMembershipManager[A Asker, M Membership](p KeeperParts[A, M]) *MembershipManager[A, M] {
+func NewMembershipManager[A Asker, M Membership](p Config[A, M]) *MembershipManager[A, M] {
 	k := &MembershipManager[A, M]{
 		self: p.Self, member: p.Member, size: p.Size, asker: p.Asker, group: p.Group, clock: p.Clock,
 		done: make(chan struct{}), joined: p.Joined, removed: p.Removed, silent: map[raft.MemberID]clock.Millis{},
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -120,7 +120,7 @@
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
 	c.member = newSeat(hello, c.senders)
-	c.keeper = boot.NewMembershipManager(boot.KeeperParts[*peers.Client, *seat]{
+	c.keeper = boot.NewMembershipManager(boot.Config[*peers.Client, *seat]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
 		Configured: cfg.Controls, Size: max(cfg.GroupSize, len(cfg.Controls)), Asker: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
