--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	c.work = runner.New(runner.Parts[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]{
+	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestObjective{},
 		Judge: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
 		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
