--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -46,7 +46,7 @@
 
 // Mover is the duty. Its methods may be called from any goroutine.
 type Mover[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
-	Parts[G, P, C, J, A, S]
+	Config[G, P, C, J, A, S]
 	in    *ring.Ring[input]
 	done  chan struct{}
 	ended chan struct{}
@@ -86,8 +86,8 @@
 	Waits     []Wait
 }
 
-// Parts are what a mover works with.
-type Parts[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
+// Config are what a mover works with.
+type Config[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	// Name is the author of the mover's changes.
 	Name string
 	// Entries lists the configured entry processes of all zones.
@@ -102,10 +102,10 @@
 }
 
 // New returns a mover; Run must be called for it to do anything.
-func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](p Parts[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
+func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](p Config[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
 	m := &Mover[G, P, C, J, A, S]{
-		Parts: p,
-		in:    ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
+		Config: p,
+		in:     ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	m.reset(0)
 	return m
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -44,7 +44,7 @@
 
 type (
 	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
-	testParts = Parts[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
+	testParts = Config[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
 )
 
 // world is a mover with two entry processes of one zone.
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -31,7 +31,7 @@
 type (
 	disk       = store.Store[codec.Codec, store.OSFileSystem]
 	moverDuty  = mover.Mover[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
-	moverParts = mover.Parts[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	moverParts = mover.Config[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
 	keeperDuty = boot.MembershipManager[*peers.Client, *seat]
 )
 
