--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -76,5 +76,5 @@
 	return f
 }
 
-// Felt returns what callers felt since the last call.
-func (d *Dispatcher[P, Q, L]) Felt() model.LoadReport { return d.call(&command{op: opFelt}).felt }
+// LoadReport returns what callers felt since the last call.
+func (d *Dispatcher[P, Q, L]) LoadReport() model.LoadReport { return d.call(&command{op: opFelt}).felt }
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -107,7 +107,7 @@
 	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
-	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.Felt, e.dispatch.Demand, clk)
+	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.LoadReport, e.dispatch.Demand, clk)
 	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, incarnation, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
