--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -35,8 +35,8 @@
 	Gone    []model.InstanceID
 	// Demand is what callers ask of each pool at the time of the report.
 	Demand []model.PoolDemand
-	// Felt is empty in most reports; see FeltInterval.
-	Felt model.LoadReport
+	// Load is empty in most reports; see FeltInterval.
+	Load model.LoadReport
 }
 
 // Status is what the reporter reads from the other duties of the process.
@@ -112,7 +112,7 @@
 	rep.Demand = r.demand()
 	if now-r.feltAt >= FeltInterval {
 		r.feltAt = now
-		rep.Felt = r.felt()
+		rep.Load = r.felt()
 	}
 	full := !r.complete
 	term, err := r.out.Report(ctx, rep)
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -208,10 +208,10 @@
 			Refused: int64(d.Refused), TypicalMs: int64(d.TypicalRunTime),
 		})
 	}
-	for _, c := range r.Felt.Customers {
+	for _, c := range r.Load.Customers {
 		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Requests, Suffered: c.Impaired})
 	}
-	for _, i := range r.Felt.Instances {
+	for _, i := range r.Load.Instances {
 		w.Tallies = append(w.Tallies, &wirepb.InstanceTally{Instance: string(i.Instance), Calls: i.Calls, Failures: i.Failures})
 	}
 	return w
@@ -240,12 +240,12 @@
 		})
 	}
 	for _, c := range w.GetCustomers() {
-		r.Felt.Customers = append(r.Felt.Customers, model.CustomerLoad{
+		r.Load.Customers = append(r.Load.Customers, model.CustomerLoad{
 			Customer: model.Customer(c.GetCustomer()), Requests: c.GetAsks(), Impaired: c.GetSuffered(),
 		})
 	}
 	for _, i := range w.GetTallies() {
-		r.Felt.Instances = append(r.Felt.Instances, model.InstanceTally{
+		r.Load.Instances = append(r.Load.Instances, model.InstanceTally{
 			Instance: model.InstanceID(i.GetInstance()), Calls: i.GetCalls(), Failures: i.GetFailures(),
 		})
 	}
