--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -30,8 +30,8 @@
 	ShortfallBudget ShortfallKind = "budget"
 	// ShortfallQuota: the quotas of all customers exceed the workers.
 	ShortfallQuota ShortfallKind = "quota"
-	// ShortSlots: the concurrency asked exceeds what the instances hold.
-	ShortSlots ShortfallKind = "slots"
+	// ShortfallSlots: the concurrency asked exceeds what the instances hold.
+	ShortfallSlots ShortfallKind = "slots"
 )
 
 // Shortfall is one way in which the fleet falls short of a contract.
@@ -228,7 +228,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortSlots, Subject: "concurrency", Need: int64(q.Contract.Concurrency), Have: have,
+		Kind: ShortfallSlots, Subject: "concurrency", Need: int64(q.Contract.Concurrency), Have: have,
 		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", q.Contract.Concurrency, have),
 	}}
 }
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -80,7 +80,7 @@
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
 		}), AcceptShort, ShortfallMaxUnavailable, 42, 0},
 		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortfallQuota, 800001, 800000},
-		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
+		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortfallSlots, 400, 336},
 		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
 		v := Evaluate(RefuseImpossible{}, MinSlots{}, set, c.q)
