--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -39,7 +39,7 @@
 )
 
 // Runner is the duty. Its methods may be called from any goroutine.
-type Runner[G Group, M Machines, O sched.Order, J place.HealthPolicy] struct {
+type Runner[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
 	// Name is the holder of orders to the platform.
 	Name     string
 	group    G
@@ -152,7 +152,7 @@
 }
 
 // Config are what a runner works with.
-type Config[G Group, M Machines, O sched.Order, J place.HealthPolicy] struct {
+type Config[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
 	Name     string
 	Group    G
 	Machines M
@@ -165,7 +165,7 @@
 }
 
 // New returns a runner; Run must be called for it to do anything.
-func New[G Group, M Machines, O sched.Order, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
+func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
 		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Order, judge: p.Judge, set: p.Settings,
 		clock: p.Clock, notes: p.Notes, observe: p.Observe,
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -12,7 +12,7 @@
 
 // Board holds what the leader knows of workers and of waiting work. One duty
 // owns it.
-type Board[O Order, J place.HealthPolicy] struct {
+type Board[O RankPolicy, J place.HealthPolicy] struct {
 	set   Settings
 	order O
 	judge J
@@ -164,7 +164,7 @@
 // NewBoard returns a board for a leader whose term begins at now, with the
 // committed state. Whatever is assigned may run on its worker until the
 // longest lease has ended, even if the worker is never heard.
-func NewBoard[O Order, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
+func NewBoard[O RankPolicy, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
 	b := &Board[O, J]{
 		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -117,7 +117,7 @@
 }
 
 // onTime plays a load with an order and counts the jobs that end in time.
-func onTime[O Order](order O, all []arrival) int {
+func onTime[O RankPolicy](order O, all []arrival) int {
 	set := Defaults()
 	set.SurgeMillis = 0
 	const start = 100_000
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -19,8 +19,8 @@
 	Seq uint64
 }
 
-// Order is the policy that says which waiting work goes first.
-type Order interface {
+// RankPolicy is the policy that says which waiting work goes first.
+type RankPolicy interface {
 	Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank
 }
 
