--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -274,13 +274,13 @@
 	rec := b.State.Jobs[j.ID]
 	b.enter(rec, now)
 	b.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
-		j.Queue, b.State.Config.Version, len(j.Steps), Objective(rec, 0)-now), false)
+		j.Queue, b.State.Config.Version, len(j.Steps), Deadline(rec, 0)-now), false)
 }
 
 // noteEnd explains the final status of a job: how long it took, and for a late
 // one what kept it.
 func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
-	late := now - Objective(r, len(r.Occurrences)-1)
+	late := now - Deadline(r, len(r.Occurrences)-1)
 	b.forgetAdvice(r)
 	reason := fmt.Sprintf("after %d ms", now-r.AcceptedAt)
 	if late > 0 && r.Status == jobs.StatusCompleted {
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -88,7 +88,7 @@
 }
 
 func lineOf(r *jobs.Record) JobLine {
-	return JobLine{ID: r.ID, Queue: r.Queue, Status: r.Status, Accepted: r.AcceptedAt, OnTime: Objective(r, len(r.Occurrences)-1)}
+	return JobLine{ID: r.ID, Queue: r.Queue, Status: r.Status, Accepted: r.AcceptedAt, OnTime: Deadline(r, len(r.Occurrences)-1)}
 }
 
 // List returns the jobs that have not ended, the oldest first and at most a
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -31,8 +31,8 @@
 	classLate
 )
 
-// Objective is the latest time at which a job is on time.
-func Objective(r *jobs.Record, occurrence int) clock.Millis {
+// Deadline is the latest time at which a job is on time.
+func Deadline(r *jobs.Record, occurrence int) clock.Millis {
 	from := max(r.AcceptedAt, r.Due(occurrence))
 	return from + r.Target + r.Chain()*clock.Millis(r.StretchPermille)/1000
 }
@@ -45,7 +45,7 @@
 
 // Rank orders by objective.
 func (EarliestObjective) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
-	k := Rank{Class: classOnTime, Key: Objective(r, occurrence), Seq: r.Seq}
+	k := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
 	switch {
 	case lasting(&r.Job):
 		k.Class, k.Key = classLasting, clock.Millis(r.Priority)
