--- a/core/state/limits/error.go
+++ b/core/state/limits/error.go
@@ -11,8 +11,8 @@
 
 // The kinds of error.
 const (
-	// KindForm: the contract contradicts itself.
-	KindForm Kind = "form"
+	// KindInvalid: the contract contradicts itself.
+	KindInvalid Kind = "form"
 	// KindShort: the verdict on the contract is a refusal.
 	KindShort Kind = "short"
 )
@@ -34,7 +34,7 @@
 // missing or used twice, or a figure below its least value.
 func CheckForm(c model.Contract) error {
 	fail := func(format string, args ...any) error {
-		return &Error{Op: "check contract " + string(c.Customer), Kind: KindForm, Err: fmt.Errorf(format, args...)}
+		return &Error{Op: "check contract " + string(c.Customer), Kind: KindInvalid, Err: fmt.Errorf(format, args...)}
 	}
 	if c.Customer == "" {
 		return fail("no customer is named")
