--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -206,9 +206,9 @@
 	return Answer{Kind: AnswerUnavailable, RetryAfter: comeBackMillis, Reason: reason}
 }
 
-// Beat hands in a heartbeat and waits for its answer. Errors are of kind
+// Heartbeat hands in a heartbeat and waits for its answer. Errors are of kind
 // not-leader, busy, unknown or stale.
-func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
+func (r *Runner[G, M, O, J]) Heartbeat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
 	reply := make(chan beatAnswer, 1)
 	h.ReceivedAt = r.clock.Now()
 	if !r.in.TryPut(input{beat: &h, reply: reply}) {
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -169,7 +169,7 @@
 func beat(r *testRunner, seq int64) (HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return r.Beat(ctx, sched.Heartbeat{
+	return r.Heartbeat(ctx, sched.Heartbeat{
 		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 	})
 }
