--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -111,13 +111,13 @@
 	return sched.Outcome{Answer: sched.AnswerLater}
 }
 
-type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]
+type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]
 
 func start(t *testing.T, g *fakeGroup) *testRunner {
 	t.Helper()
 	set := sched.Defaults()
 	set.SurgeMillis = 0
-	r := New(Config[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]{
+	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: "c1", Group: g, Judge: place.PeerComparison{MinScore: 3}, Settings: set, Clock: clock.Real(),
 	})
 	go func() { _ = r.Run() }()
@@ -307,7 +307,7 @@
 // which its clock stood still, and grants leases on an old confirmation.
 func TestLeaseAfterSuspension(t *testing.T) {
 	fake := clock.NewFake(100_000)
-	r := New(Config[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]{
+	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 		Group: newFakeGroup(), Judge: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 	})
 	r.confirmed = 99_900
@@ -336,7 +336,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			fake, g := clock.NewFake(began), newFakeGroup()
-			r := New(Config[*fakeGroup, noMachines, sched.EarliestObjective, place.PeerComparison]{
+			r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 				Group: g, Judge: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 			})
 			a := action{term: g.term, at: began, skew: fake.Clock().Skew()}
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -37,14 +37,14 @@
 	return from + r.Target + r.Chain()*clock.Millis(r.StretchPermille)/1000
 }
 
-// EarliestObjective is for loads that exceed the workers for some seconds and
+// EarliestDeadline is for loads that exceed the workers for some seconds and
 // fall below them afterwards: work is done in the order of objectives, and
 // work that will miss its own comes after all that can still meet its. Without
 // the latter every job of a surge would be started just too late.
-type EarliestObjective struct{}
+type EarliestDeadline struct{}
 
 // Rank orders by objective.
-func (EarliestObjective) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
+func (EarliestDeadline) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
 	k := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
 	switch {
 	case lasting(&r.Job):
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -19,7 +19,7 @@
 	worldAttempts              = 3
 )
 
-type testBoard = Board[EarliestObjective, place.PeerComparison]
+type testBoard = Board[EarliestDeadline, place.PeerComparison]
 
 // leader is a process that leads or believes to. Its board is ahead of the
 // committed state until its operations are committed.
@@ -138,7 +138,7 @@
 	w.token++
 	w.stale = w.lead
 	w.lead = &leader{
-		board: NewBoard(w.set, EarliestObjective{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
+		board: NewBoard(w.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
 		token: w.token, confirmed: w.now,
 	}
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -22,7 +22,7 @@
 const asideEvidence = 3
 
 // JobsRunner is the runner with the policies of the product.
-type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]
+type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
 // JobsOptions says how a control process runs jobs.
 type JobsOptions struct {
@@ -65,8 +65,8 @@
 	if err != nil {
 		return err
 	}
-	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestObjective, place.PeerComparison]{
-		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestObjective{},
+	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
+		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestDeadline{},
 		Judge: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
 		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
