--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -200,7 +200,7 @@
 func TestOrderServesSurge(t *testing.T) {
 	for seed := range uint64(3) {
 		all := newLoad(seed)
-		bound, best, baseline := upperBound(all), onTime(EarliestDeadline{}, all), onTime(Arrival{}, all)
+		bound, best, baseline := upperBound(all), onTime(EarliestDeadline{}, all), onTime(FIFO{}, all)
 		t.Logf("seed %d: %d jobs, bound %d, by objective %d, by arrival %d", seed, len(all), bound, best, baseline)
 		assert.Assert(t, best <= bound && baseline <= bound)
 		assert.Assert(t, best > baseline)
@@ -219,7 +219,7 @@
 	})
 	b.Run("by-arrival", func(b *testing.B) {
 		for b.Loop() {
-			b.ReportMetric(float64(onTime(Arrival{}, all))/bound, "of-bound")
+			b.ReportMetric(float64(onTime(FIFO{}, all))/bound, "of-bound")
 		}
 	})
 }
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -75,11 +75,11 @@
 	return longest
 }
 
-// Arrival is the baseline: work is done in the order of acceptance.
-type Arrival struct{}
+// FIFO is the baseline: work is done in the order of acceptance.
+type FIFO struct{}
 
 // Rank orders by acceptance.
-func (Arrival) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
+func (FIFO) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
 
 func lasting(j *jobs.Job) bool {
 	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.LongRunning })
