--- a/core/state/limits/error.go
+++ b/core/state/limits/error.go
@@ -13,8 +13,8 @@
 const (
 	// KindInvalid: the contract contradicts itself.
 	KindInvalid Kind = "form"
-	// KindShort: the verdict on the contract is a refusal.
-	KindShort Kind = "short"
+	// KindRefused: the verdict on the contract is a refusal.
+	KindRefused Kind = "short"
 )
 
 // Error is the error type of the package.
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -69,7 +69,7 @@
 	for _, s := range v.Shortfalls {
 		texts = append(texts, s.Text)
 	}
-	return &Error{Op: "judge contract", Kind: KindShort, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
+	return &Error{Op: "judge contract", Kind: KindRefused, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
 }
 
 // Settings are the figures that a judgement assumes.
