--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -32,7 +32,7 @@
 		r.n.Calls++
 		r.takeCall(in.call, in.answer, now)
 	case in.beat != nil:
-		r.n.Beats++
+		r.n.Heartbeats++
 		r.takeBeat(in.beat, in.reply, now)
 	case in.leave != nil:
 		if r.board != nil {
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -179,7 +179,7 @@
 
 // Counts are counters since the start; they only grow.
 type Counts struct {
-	Beats      int64
+	Heartbeats int64
 	StaleBeats int64
 	Calls      int64
 	Batches    int64
