--- a/core/state/limits/error.go
+++ b/core/state/limits/error.go
@@ -30,9 +30,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// CheckForm returns the first contradiction inside a contract: a name that is
+// Validate returns the first contradiction inside a contract: a name that is
 // missing or used twice, or a figure below its least value.
-func CheckForm(c model.Contract) error {
+func Validate(c model.Contract) error {
 	fail := func(format string, args ...any) error {
 		return &Error{Op: "check contract " + string(c.Customer), Kind: KindInvalid, Err: fmt.Errorf(format, args...)}
 	}
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -97,7 +97,7 @@
 // verdict.
 func Evaluate[S RefusalPolicy, P SlotsPolicy](severity S, slots P, set Settings, q Input) Evaluation {
 	var v Evaluation
-	if err := CheckForm(q.Contract); err != nil {
+	if err := Validate(q.Contract); err != nil {
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(q.Contract.Customer), Text: err.Error()})
 	} else {
 		all := allContracts(q)
