--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -49,9 +49,9 @@
 
 // The decisions.
 const (
-	Accept      Decision = "accept"
-	AcceptShort Decision = "accept-with-shortfall"
-	Refuse      Decision = "refuse"
+	Accept              Decision = "accept"
+	AcceptWithShortfall Decision = "accept-with-shortfall"
+	Refuse              Decision = "refuse"
 )
 
 // Evaluation is a decision with every shortfall found.
@@ -110,7 +110,7 @@
 	v.Decision = Accept
 	for _, s := range v.Shortfalls {
 		if v.Decision != Refuse {
-			v.Decision = AcceptShort
+			v.Decision = AcceptWithShortfall
 		}
 		if severity.Refuses(s) {
 			v.Decision = Refuse
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -64,23 +64,23 @@
 		need, have int64
 	}{
 		{"fits", rebase(func(*Input) {}), Accept, "", 0, 0},
-		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortfallSpare, 17, 8},
+		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptWithShortfall, ShortfallSpare, 17, 8},
 		{"owned", rebase(func(q *Input) {
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
 		}), Refuse, ShortfallInstances, 51, 50},
 		{"width", rebase(func(q *Input) {
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
-		}), AcceptShort, ShortfallMaxUnavailable, 50, 24},
+		}), AcceptWithShortfall, ShortfallMaxUnavailable, 50, 24},
 		{"budget", rebase(func(q *Input) {
 			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
-		}), AcceptShort, ShortfallBudget, 50, 12},
+		}), AcceptWithShortfall, ShortfallBudget, 50, 12},
 		{"shared", rebase(func(q *Input) {
 			q.Contract.Pools[0].Instances = 40
 			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
-		}), AcceptShort, ShortfallMaxUnavailable, 42, 0},
-		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortfallQuota, 800001, 800000},
-		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptShort, ShortfallSlots, 400, 336},
+		}), AcceptWithShortfall, ShortfallMaxUnavailable, 42, 0},
+		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptWithShortfall, ShortfallQuota, 800001, 800000},
+		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptWithShortfall, ShortfallSlots, 400, 336},
 		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
 		v := Evaluate(RefuseImpossible{}, MinSlots{}, set, c.q)
@@ -172,7 +172,7 @@
 			}
 		}
 		b.ReportMetric(count[Accept], "accepted")
-		b.ReportMetric(count[AcceptShort], "accepted-short")
+		b.ReportMetric(count[AcceptWithShortfall], "accepted-short")
 		b.ReportMetric(count[Refuse], "refused")
 		b.ReportMetric(broken, "violations")
 	})
