--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -42,8 +42,8 @@
 	RuleWhole Rule = "at most all instances"
 )
 
-// Figure is a number that a derivation used.
-type Figure struct {
+// Operand is a number that a derivation used.
+type Operand struct {
 	Name  string
 	Value int64
 }
@@ -56,7 +56,7 @@
 	Value int64
 	Rule  Rule
 	// Figures lists what the rule used, in the order of its use.
-	Figures []Figure
+	Figures []Operand
 }
 
 // Unbounded is the value of a limit that bounds nothing.
@@ -119,7 +119,7 @@
 	s.Retries = Limit{
 		Name: Retries, Asked: int64(c.RetryPercent), Rule: RulePercent,
 		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
-		Figures: []Figure{
+		Figures: []Operand{
 			{"concurrency", s.Concurrency.Value},
 			{"retry-percent", int64(c.RetryPercent)},
 		},
@@ -127,7 +127,7 @@
 	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
 	if all := int64(Promised(c) + c.Spare); s.MaxUnavailable.Value > all {
 		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleWhole
-		s.MaxUnavailable.Figures = append(s.MaxUnavailable.Figures, Figure{"instances", all})
+		s.MaxUnavailable.Figures = append(s.MaxUnavailable.Figures, Operand{"instances", all})
 	}
 	s.Budget = budget(c.BudgetMillis, c.WindowMillis)
 	s.Spare = asked(Spare, c.Spare)
@@ -150,14 +150,14 @@
 func asked(name Name, v int) Limit {
 	return Limit{
 		Name: name, Asked: int64(v), Value: int64(v), Rule: RuleAsked,
-		Figures: []Figure{{string(name), int64(v)}},
+		Figures: []Operand{{string(name), int64(v)}},
 	}
 }
 
 func budget(b, window clock.Millis) Limit {
 	l := Limit{
 		Name: Budget, Asked: int64(b), Value: int64(b), Rule: RuleAsked,
-		Figures: []Figure{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
+		Figures: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
 	}
 	if window == 0 {
 		l.Value, l.Rule = Unbounded, RuleNoWindow
@@ -175,8 +175,8 @@
 		l.Value += int64(p.Instances) * int64(per)
 		l.Figures = append(
 			l.Figures,
-			Figure{string(p.Pool) + " instances", int64(p.Instances)},
-			Figure{string(p.Pool) + " slots", int64(per)},
+			Operand{string(p.Pool) + " instances", int64(p.Instances)},
+			Operand{string(p.Pool) + " slots", int64(per)},
 		)
 	}
 	return l
--- a/core/state/limits/error.go
+++ b/core/state/limits/error.go
@@ -73,8 +73,8 @@
 	return nil
 }
 
-func figuresOf(c model.Contract) []Figure {
-	return []Figure{
+func figuresOf(c model.Contract) []Operand {
+	return []Operand{
 		{"concurrency", int64(c.Concurrency)},
 		{"queue", int64(c.Queue)},
 		{"retry-percent", int64(c.RetryPercent)},
--- a/io/proto/report/limits.go
+++ b/io/proto/report/limits.go
@@ -47,6 +47,6 @@
 		{"limit", l.Name},
 		{"value", l.Value},
 		{"rule", l.Rule},
-		{"from", list(l.Figures, func(f limits.Figure) object { return object{{f.Name, f.Value}} })},
+		{"from", list(l.Figures, func(f limits.Operand) object { return object{{f.Name, f.Value}} })},
 	}
 }
