--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -40,7 +40,7 @@
 		}
 	case in.acted != nil:
 		if r.board != nil && in.acted.action.term == r.term {
-			r.board.Acted(in.acted.action.Action, in.acted.outcome, now)
+			r.board.HandleOutcome(in.acted.action.Action, in.acted.outcome, now)
 		}
 	}
 }
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -248,12 +248,12 @@
 	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	first := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(first), 1)
-	r.Acted(first[0], Outcome{Answer: AnswerDone}, r.now)
+	r.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, r.now)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 0)
 	r.now += 3 * r.set.DownMillis
 	second := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(second), 1)
-	r.Acted(second[0], Outcome{Answer: AnswerDone}, r.now)
+	r.HandleOutcome(second[0], Outcome{Answer: AnswerDone}, r.now)
 	assert.Assert(t, r.State.Waves[1].Completed())
 }
 
@@ -267,7 +267,7 @@
 	r.Declare(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
 	for range 5 {
 		for _, a := range actions(r.Pass(r.now), ActionMaintain) {
-			r.Acted(a, Outcome{Answer: AnswerLater}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerLater}, r.now)
 		}
 		r.now += upkeepPeriod
 	}
@@ -277,7 +277,7 @@
 	for range 400 {
 		for _, a := range actions(next.Pass(next.now), ActionMaintain) {
 			down[a.Machine] = next.now + next.set.DownMillis
-			next.Acted(a, Outcome{Answer: AnswerDone}, next.now)
+			next.HandleOutcome(a, Outcome{Answer: AnswerDone}, next.now)
 		}
 		n := 0
 		for _, until := range down {
@@ -301,7 +301,7 @@
 	for range 40 {
 		p := r.Pass(r.now)
 		for _, a := range actions(p, ActionMaintain) {
-			r.Acted(a, Outcome{Answer: AnswerLater}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerLater}, r.now)
 		}
 		for _, a := range actions(p, ActionList) {
 			lists++
@@ -310,7 +310,7 @@
 			if lists == 1 {
 				machines = append(machines, Machine{ID: "m-gone", Pool: "p"})
 			}
-			r.Acted(a, Outcome{Machines: machines}, r.now)
+			r.HandleOutcome(a, Outcome{Machines: machines}, r.now)
 		}
 		r.now += 200
 	}
@@ -327,12 +327,12 @@
 	r.now += r.set.QuietMillis
 	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	order := actions(r.Pass(r.now), ActionMaintain)[0]
-	r.Acted(order, Outcome{Answer: AnswerUnknown}, r.now)
+	r.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, r.now)
 	r.now += 2500
 	r.hear("w1", 2, nil)
 	again := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(again), 1)
-	r.Acted(again[0], Outcome{Answer: AnswerDone}, r.now)
+	r.HandleOutcome(again[0], Outcome{Answer: AnswerDone}, r.now)
 	r.now += 100
 	r.submit("a", small)
 	r.hear("w1", 2, nil)
@@ -348,7 +348,7 @@
 	r.hear("w1", 1, nil)
 	p := r.Pass(r.now)
 	assert.Equal(t, len(actions(p, ActionList)), 1)
-	r.Acted(actions(p, ActionList)[0], Outcome{Machines: []Machine{
+	r.HandleOutcome(actions(p, ActionList)[0], Outcome{Machines: []Machine{
 		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
@@ -411,7 +411,7 @@
 			r.hear(id, 1, nil)
 		}
 		for _, a := range actions(r.Pass(r.now), ActionMove) {
-			r.Acted(a, Outcome{Answer: AnswerUnknown}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerUnknown}, r.now)
 		}
 		r.now += clock.Second
 	}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -336,8 +336,8 @@
 	return platformAnswers[a]
 }
 
-// Acted takes the platform's answer to an action.
-func (b *Board[O, J]) Acted(a Action, o Outcome, now clock.Millis) {
+// HandleOutcome takes the platform's answer to an action.
+func (b *Board[O, J]) HandleOutcome(a Action, o Outcome, now clock.Millis) {
 	switch a.Kind {
 	case ActionMaintain:
 		b.maintained(a, o, now)
