--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -51,7 +51,7 @@
 		return
 	}
 	if !r.board.Heartbeat(*h, now) {
-		r.n.StaleBeats++
+		r.n.StaleHeartbeats++
 		reply <- beatAnswer{err: failf("heartbeat", KindStale, "it is older than one that was taken")}
 		return
 	}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -179,11 +179,11 @@
 
 // Counts are counters since the start; they only grow.
 type Counts struct {
-	Heartbeats int64
-	StaleBeats int64
-	Calls      int64
-	Batches    int64
-	Ops        int64
+	Heartbeats      int64
+	StaleHeartbeats int64
+	Calls           int64
+	Batches         int64
+	Ops             int64
 	// Resets counts the times that uncommitted decisions were dropped.
 	Resets int64
 	// Starts, Lost and Failed count runs.
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -93,7 +93,7 @@
 	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.work.Counts()) } }
 	counters(r, []counter{
 		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
-		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleBeats })},
+		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
 		{"job-operations", count(func(n runner.Counts) int64 { return n.Ops })},
