--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -356,7 +356,7 @@
 func (r *Runner[G, M, O, J]) count(o jobs.Op) {
 	switch {
 	case o.Kind == jobs.OpAssign:
-		r.n.Starts++
+		r.n.RunsStarted++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultLost:
 		r.n.Lost++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultFailed:
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -186,8 +186,8 @@
 	Ops             int64
 	// Resets counts the times that uncommitted decisions were dropped.
 	Resets int64
-	// Starts, Lost and Failed count runs.
-	Starts int64
-	Lost   int64
-	Failed int64
+	// RunsStarted, Lost and Failed count runs.
+	RunsStarted int64
+	Lost        int64
+	Failed      int64
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -98,7 +98,7 @@
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
 		{"job-operations", count(func(n runner.Counts) int64 { return n.Ops })},
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
-		{"runs-started", count(func(n runner.Counts) int64 { return n.Starts })},
+		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
 		{"runs-lost", count(func(n runner.Counts) int64 { return n.Lost })},
 		{"runs-failed", count(func(n runner.Counts) int64 { return n.Failed })},
 		{"job-inputs-refused", c.work.Refused},
