--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -358,7 +358,7 @@
 	case o.Kind == jobs.OpAssign:
 		r.n.RunsStarted++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultLost:
-		r.n.Lost++
+		r.n.RunsLost++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultFailed:
 		r.n.Failed++
 	}
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -188,6 +188,6 @@
 	Resets int64
 	// RunsStarted, Lost and Failed count runs.
 	RunsStarted int64
-	Lost        int64
+	RunsLost    int64
 	Failed      int64
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -99,7 +99,7 @@
 		{"job-operations", count(func(n runner.Counts) int64 { return n.Ops })},
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
 		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
-		{"runs-lost", count(func(n runner.Counts) int64 { return n.Lost })},
+		{"runs-lost", count(func(n runner.Counts) int64 { return n.RunsLost })},
 		{"runs-failed", count(func(n runner.Counts) int64 { return n.Failed })},
 		{"job-inputs-refused", c.work.Refused},
 	})
