--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -360,7 +360,7 @@
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultLost:
 		r.n.RunsLost++
 	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultFailed:
-		r.n.Failed++
+		r.n.RunsFailed++
 	}
 }
 
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -189,5 +189,5 @@
 	// RunsStarted, Lost and Failed count runs.
 	RunsStarted int64
 	RunsLost    int64
-	Failed      int64
+	RunsFailed  int64
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -100,7 +100,7 @@
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
 		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
 		{"runs-lost", count(func(n runner.Counts) int64 { return n.RunsLost })},
-		{"runs-failed", count(func(n runner.Counts) int64 { return n.Failed })},
+		{"runs-failed", count(func(n runner.Counts) int64 { return n.RunsFailed })},
 		{"job-inputs-refused", c.work.Refused},
 	})
 }
