--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -107,7 +107,7 @@
 
 type noMachines struct{}
 
-func (noMachines) Do(context.Context, Order) sched.Outcome {
+func (noMachines) Do(context.Context, MachineAction) sched.Outcome {
 	return sched.Outcome{Answer: sched.AnswerLater}
 }
 
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -59,11 +59,11 @@
 // Machines is the platform's interface to machines.
 type Machines interface {
 	// Do carries an order out.
-	Do(ctx context.Context, o Order) sched.Outcome
+	Do(ctx context.Context, o MachineAction) sched.Outcome
 }
 
-// Order is an action of the platform in the name of a leader.
-type Order struct {
+// MachineAction is an action of the platform in the name of a leader.
+type MachineAction struct {
 	sched.Action
 	Holder string
 	// Token is the leader's fencing token.
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -49,7 +49,7 @@
 // noMachines stands for a platform without an interface to machines.
 type noMachines struct{}
 
-func (noMachines) Do(context.Context, runner.Order) sched.Outcome {
+func (noMachines) Do(context.Context, runner.MachineAction) sched.Outcome {
 	return sched.Outcome{Answer: sched.AnswerLater}
 }
 
