--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -207,7 +207,7 @@
 	if !r.may(a) {
 		return sched.Outcome{Answer: sched.AnswerLater}
 	}
-	return r.machines.Do(ctx, MachineAction{Action: a.Action, Holder: r.Name, Token: a.term, May: func() bool { return r.may(a) }})
+	return r.machines.Do(ctx, MachineAction{Action: a.Action, Holder: r.Name, Token: a.term, MaySend: func() bool { return r.may(a) }})
 }
 
 // may reports whether an action may be sent: this process still leads in the
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -68,10 +68,10 @@
 	Holder string
 	// Token is the leader's fencing token.
 	Token uint64
-	// May reports whether the order may still be sent. It has to be asked right
+	// MaySend reports whether the order may still be sent. It has to be asked right
 	// before the order is written: a process may be held up at any point before,
 	// for longer than it takes another one to lead and to give orders.
-	May func() bool
+	MaySend func() bool
 }
 
 // CallKind tells calls apart.
