--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -64,10 +64,10 @@
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
 
-// Table puts a change of the table in force. The version never goes down; a
+// ApplyDelta puts a change of the table in force. The version never goes down; a
 // delta that does not follow on the table is a KindVersion error. An empty
 // delta from the version in force confirms the table after a pause.
-func (d *Dispatcher[P, Q, L]) Table(delta model.Delta) error {
+func (d *Dispatcher[P, Q, L]) ApplyDelta(delta model.Delta) error {
 	return d.call(&command{op: opTable, delta: delta}).err
 }
 
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -39,7 +39,7 @@
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
 	t.Cleanup(func() { d.Stop(); <-ended })
-	assert.NilError(t, d.Table(model.Delta{To: 5, Full: true, Contracts: contracts, Instances: []model.Instance{
+	assert.NilError(t, d.ApplyDelta(model.Delta{To: 5, Full: true, Contracts: contracts, Instances: []model.Instance{
 		instance("ia", slots), instance("ib", slots),
 	}}))
 	assert.NilError(t, d.Announce(announcement("ia", slots)))
@@ -193,18 +193,18 @@
 	g := must(t, d)
 	i := instance(g.Upstream.Instance, 1)
 	i.Phase, i.Version = model.PhaseReleasing, 8
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
 	assert.Equal(t, d.Drained(), model.Version(7))
 	var e *Error
-	assert.Assert(t, errors.As(d.Table(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
-	assert.Assert(t, errors.As(d.Table(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
+	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
+	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
 	assert.Equal(t, d.Configuration().Version, model.Version(8))
 	other := must(t, d)
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	until(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
 	// A full table that no longer names the instance in use releases it.
-	assert.NilError(t, d.Table(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
 	assert.Equal(t, d.Drained(), model.Version(8))
 	d.Done(other.Ticket, OutcomeOK, 1)
 	until(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
@@ -220,7 +220,7 @@
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalNotReady)
 	until(t, "not ready", func(Status) bool { return !d.Ready() }, d)
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 5}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 5}))
 	assert.Assert(t, d.Ready())
 	must(t, d)
 	// Without announcements the grace ends after one lease.
@@ -240,8 +240,8 @@
 	c.Pools[0].Instances = 3
 	d := start(t, 4, c)
 	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12)
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
 	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12, "the smallest instance counts")
-	assert.NilError(t, d.Table(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
 	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 18)
 }
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -29,7 +29,7 @@
 	t.Cleanup(func() { d.Stop(); <-ended })
 	i := instance("ia", 4)
 	i.Connections = 8
-	assert.NilError(t, d.Table(model.Delta{To: 5, Full: true, Contracts: []model.Contract{contract("acme", 20, 20)}, Instances: []model.Instance{i}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{To: 5, Full: true, Contracts: []model.Contract{contract("acme", 20, 20)}, Instances: []model.Instance{i}}))
 	return d, orders
 }
 
@@ -63,7 +63,7 @@
 	d.Done(g.Ticket, OutcomeOK, 1)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
 	assert.Equal(t, d.Drained(), model.Version(5))
 	renew := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
 	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
@@ -87,7 +87,7 @@
 	assert.Assert(t, g.Upstream.Loan != "" && g.Upstream.WriteDeadline == 1<<60)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -96,7 +96,7 @@
 	for i := range addresses {
 		d.Instances = append(d.Instances, model.Instance{ID: id(i), Zone: self.Zone, Pool: "svc", Slots: slots, Connections: 64, Version: 1})
 	}
-	assert.NilError(t, g.gate.Table(d))
+	assert.NilError(t, g.gate.ApplyDelta(d))
 	for i, a := range addresses {
 		g.announce(t, i, a, slots)
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -138,7 +138,7 @@
 
 // offer puts a delta in force and adds the new version to the time line.
 func (e *Entry) offer(d model.Delta) error {
-	if err := e.dispatch.Table(d); err != nil {
+	if err := e.dispatch.ApplyDelta(d); err != nil {
 		return err
 	}
 	if d.To > e.poller.Version() {
