--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -104,8 +104,8 @@
 	return s
 }
 
-// Configuration returns a copy of the table in force.
-func (d *Dispatcher[P, Q, L]) Configuration() model.Table {
+// Table returns a copy of the table in force.
+func (d *Dispatcher[P, Q, L]) Table() model.Table {
 	return d.call(&command{op: opConfig}).table
 }
 
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -198,7 +198,7 @@
 	var e *Error
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
-	assert.Equal(t, d.Configuration().Version, model.Version(8))
+	assert.Equal(t, d.Table().Version, model.Version(8))
 	other := must(t, d)
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -171,7 +171,7 @@
 	if v == 0 || from >= v {
 		return model.Delta{From: from, To: from}, v > 0
 	}
-	return fullDelta(e.dispatch.Configuration()), true
+	return fullDelta(e.dispatch.Table()), true
 }
 
 // serve listens and adds all parts in the order in which they stop: callers
