--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -55,8 +55,8 @@
 	Asked int64
 	Value int64
 	Rule  Rule
-	// Figures lists what the rule used, in the order of its use.
-	Figures []Operand
+	// Operands lists what the rule used, in the order of its use.
+	Operands []Operand
 }
 
 // Unbounded is the value of a limit that bounds nothing.
@@ -119,7 +119,7 @@
 	s.Retries = Limit{
 		Name: Retries, Asked: int64(c.RetryPercent), Rule: RulePercent,
 		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
-		Figures: []Operand{
+		Operands: []Operand{
 			{"concurrency", s.Concurrency.Value},
 			{"retry-percent", int64(c.RetryPercent)},
 		},
@@ -127,7 +127,7 @@
 	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
 	if all := int64(Promised(c) + c.Spare); s.MaxUnavailable.Value > all {
 		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleWhole
-		s.MaxUnavailable.Figures = append(s.MaxUnavailable.Figures, Operand{"instances", all})
+		s.MaxUnavailable.Operands = append(s.MaxUnavailable.Operands, Operand{"instances", all})
 	}
 	s.Budget = budget(c.BudgetMillis, c.WindowMillis)
 	s.Spare = asked(Spare, c.Spare)
@@ -150,14 +150,14 @@
 func asked(name Name, v int) Limit {
 	return Limit{
 		Name: name, Asked: int64(v), Value: int64(v), Rule: RuleAsked,
-		Figures: []Operand{{string(name), int64(v)}},
+		Operands: []Operand{{string(name), int64(v)}},
 	}
 }
 
 func budget(b, window clock.Millis) Limit {
 	l := Limit{
 		Name: Budget, Asked: int64(b), Value: int64(b), Rule: RuleAsked,
-		Figures: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
+		Operands: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
 	}
 	if window == 0 {
 		l.Value, l.Rule = Unbounded, RuleNoWindow
@@ -173,8 +173,8 @@
 	for _, p := range c.Pools {
 		per := policy.PerInstance(slotsOf(f, p.Pool))
 		l.Value += int64(p.Instances) * int64(per)
-		l.Figures = append(
-			l.Figures,
+		l.Operands = append(
+			l.Operands,
 			Operand{string(p.Pool) + " instances", int64(p.Instances)},
 			Operand{string(p.Pool) + " slots", int64(per)},
 		)
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -42,7 +42,7 @@
 	s := Derive(MinSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
 	assert.Equal(t, s.Concurrency.Value, int64(336))
 	assert.Equal(t, s.Concurrency.Rule, RuleSlots)
-	assert.DeepEqual(t, s.Concurrency.Figures, []Operand{{"logs instances", 42}, {"logs slots", 8}})
+	assert.DeepEqual(t, s.Concurrency.Operands, []Operand{{"logs instances", 42}, {"logs slots", 8}})
 	assert.Equal(t, s.Retries.Value, int64(33))
 	assert.Equal(t, s.Budget.Value, Unbounded)
 	assert.Equal(t, len(s.All()), 9)
--- a/io/proto/report/limits.go
+++ b/io/proto/report/limits.go
@@ -35,8 +35,8 @@
 }
 
 func figures(l limits.Limit) string {
-	texts := make([]string, 0, len(l.Figures))
-	for _, f := range l.Figures {
+	texts := make([]string, 0, len(l.Operands))
+	for _, f := range l.Operands {
 		texts = append(texts, fmt.Sprintf("%s %d", f.Name, f.Value))
 	}
 	return strings.Join(texts, ", ")
@@ -47,6 +47,6 @@
 		{"limit", l.Name},
 		{"value", l.Value},
 		{"rule", l.Rule},
-		{"from", list(l.Figures, func(f limits.Operand) object { return object{{f.Name, f.Value}} })},
+		{"from", list(l.Operands, func(f limits.Operand) object { return object{{f.Name, f.Value}} })},
 	}
 }
