--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -51,10 +51,10 @@
 // Limit is a derived limit together with its derivation.
 type Limit struct {
 	Name Name
-	// Asked is the contract's own figure; 0 leaves the limit to the rule.
-	Asked int64
-	Value int64
-	Rule  Rule
+	// Requested is the contract's own figure; 0 leaves the limit to the rule.
+	Requested int64
+	Value     int64
+	Rule      Rule
 	// Operands lists what the rule used, in the order of its use.
 	Operands []Operand
 }
@@ -117,7 +117,7 @@
 	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
 	s.Queue = asked(Queue, c.Queue)
 	s.Retries = Limit{
-		Name: Retries, Asked: int64(c.RetryPercent), Rule: RulePercent,
+		Name: Retries, Requested: int64(c.RetryPercent), Rule: RulePercent,
 		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
 		Operands: []Operand{
 			{"concurrency", s.Concurrency.Value},
@@ -149,14 +149,14 @@
 
 func asked(name Name, v int) Limit {
 	return Limit{
-		Name: name, Asked: int64(v), Value: int64(v), Rule: RuleAsked,
+		Name: name, Requested: int64(v), Value: int64(v), Rule: RuleAsked,
 		Operands: []Operand{{string(name), int64(v)}},
 	}
 }
 
 func budget(b, window clock.Millis) Limit {
 	l := Limit{
-		Name: Budget, Asked: int64(b), Value: int64(b), Rule: RuleAsked,
+		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleAsked,
 		Operands: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
 	}
 	if window == 0 {
