--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -29,8 +29,8 @@
 
 // The rules of derivation.
 const (
-	// RuleAsked: the contract's own figure.
-	RuleAsked Rule = "as asked"
+	// RuleRequested: the contract's own figure.
+	RuleRequested Rule = "as asked"
 	// RuleSlots: the sum over the promised pools of instances times slots.
 	RuleSlots Rule = "promised instances x slots"
 	// RulePercent: a percentage of the concurrency, rounded down, so that
@@ -149,14 +149,14 @@
 
 func asked(name Name, v int) Limit {
 	return Limit{
-		Name: name, Requested: int64(v), Value: int64(v), Rule: RuleAsked,
+		Name: name, Requested: int64(v), Value: int64(v), Rule: RuleRequested,
 		Operands: []Operand{{string(name), int64(v)}},
 	}
 }
 
 func budget(b, window clock.Millis) Limit {
 	l := Limit{
-		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleAsked,
+		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
 		Operands: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
 	}
 	if window == 0 {
