--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -38,8 +38,8 @@
 	RulePercent Rule = "percent of concurrency"
 	// RuleNoWindow: no window is set, so time out of service is unbounded.
 	RuleNoWindow Rule = "no window"
-	// RuleWhole: at most all instances of the customer can be unavailable.
-	RuleWhole Rule = "at most all instances"
+	// RuleAllInstances: at most all instances of the customer can be unavailable.
+	RuleAllInstances Rule = "at most all instances"
 )
 
 // Operand is a number that a derivation used.
@@ -126,7 +126,7 @@
 	}
 	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
 	if all := int64(Promised(c) + c.Spare); s.MaxUnavailable.Value > all {
-		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleWhole
+		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleAllInstances
 		s.MaxUnavailable.Operands = append(s.MaxUnavailable.Operands, Operand{"instances", all})
 	}
 	s.Budget = budget(c.BudgetMillis, c.WindowMillis)
