--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -58,14 +58,14 @@
 	var out []Shortfall
 	if have := byWidth(set, q.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
-			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Have: have,
+			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
 				name, n, left, c.MaxUnavailable, set.MaintainMillis, have),
 		})
 	}
 	if have := byBudget(set, c, left); int64(n) > have {
 		out = append(out, Shortfall{
-			Kind: ShortfallBudget, Subject: name, Required: int64(n), Have: have,
+			Kind: ShortfallBudget, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
 				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintainMillis, have),
 		})
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -38,10 +38,10 @@
 type Shortfall struct {
 	Kind ShortfallKind
 	// Subject is what falls short: a zone, a rack, a declaration, a resource.
-	Subject  string
-	Required int64
-	Have     int64
-	Text     string
+	Subject   string
+	Required  int64
+	Available int64
+	Text      string
 }
 
 // Decision is the outcome of a judgement.
@@ -139,7 +139,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortfallInstances, Subject: "fleet", Required: int64(promised + spare), Have: int64(len(f.Instances)),
+		Kind: ShortfallInstances, Subject: "fleet", Required: int64(promised + spare), Available: int64(len(f.Instances)),
 		Text: fmt.Sprintf("%d instances promised and %d reserved as spare by %d contracts; the fleet owns %d",
 			promised, spare, len(all), len(f.Instances)),
 	}}
@@ -157,7 +157,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortfallSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Required: int64(loss), Have: int64(c.Spare),
+		Kind: ShortfallSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Required: int64(loss), Available: int64(c.Spare),
 		Text: fmt.Sprintf("%s %s holds %d of the customer's %d instances even when they are spread evenly; the spare is %d",
 			c.Covers, name, loss, total, c.Spare),
 	}}
@@ -228,7 +228,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortfallSlots, Subject: "concurrency", Required: int64(q.Contract.Concurrency), Have: have,
+		Kind: ShortfallSlots, Subject: "concurrency", Required: int64(q.Contract.Concurrency), Available: have,
 		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", q.Contract.Concurrency, have),
 	}}
 }
@@ -242,7 +242,7 @@
 	add := func(name Name, n, h int) {
 		if n > h {
 			out = append(out, Shortfall{
-				Kind: ShortfallQuota, Subject: string(name), Required: int64(n), Have: int64(h),
+				Kind: ShortfallQuota, Subject: string(name), Required: int64(n), Available: int64(h),
 				Text: fmt.Sprintf("quotas of %d contracts sum up to %d %s; the workers have %d", len(all), n, name, h),
 			})
 		}
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -91,7 +91,7 @@
 		}
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
-		assert.Equal(t, [2]int64{s.Required, s.Have}, [2]int64{c.need, c.have}, c.name)
+		assert.Equal(t, [2]int64{s.Required, s.Available}, [2]int64{c.need, c.have}, c.name)
 		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, set, c.q).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
