--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -25,7 +25,7 @@
 		}
 	}
 	if set.PeriodMillis > 0 {
-		n := Promised(q.Contract) + q.Contract.Spare
+		n := PromisedInstances(q.Contract) + q.Contract.Spare
 		out = append(out, shortDeadline(set, q, q.Contract, "periodic maintenance", n, set.PeriodMillis)...)
 	}
 	return out
@@ -85,7 +85,7 @@
 	for _, d := range domainSizes(f, c.Covers) {
 		largest = max(largest, d.n)
 	}
-	width := int64(min(c.MaxUnavailable, Promised(c)+c.Spare, largest))
+	width := int64(min(c.MaxUnavailable, PromisedInstances(c)+c.Spare, largest))
 	return int64(left/max(set.MaintainMillis, 1)) * width
 }
 
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -125,7 +125,7 @@
 		},
 	}
 	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
-	if all := int64(Promised(c) + c.Spare); s.MaxUnavailable.Value > all {
+	if all := int64(PromisedInstances(c) + c.Spare); s.MaxUnavailable.Value > all {
 		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleAllInstances
 		s.MaxUnavailable.Operands = append(s.MaxUnavailable.Operands, Operand{"instances", all})
 	}
@@ -137,9 +137,9 @@
 	return s
 }
 
-// Promised is the number of instances that a contract promises, without its
+// PromisedInstances is the number of instances that a contract promises, without its
 // spare.
-func Promised(c model.Contract) int {
+func PromisedInstances(c model.Contract) int {
 	n := 0
 	for _, p := range c.Pools {
 		n += p.Instances
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -132,7 +132,7 @@
 func shortInstances(all []model.Contract, f Fleet) []Shortfall {
 	promised, spare := 0, 0
 	for _, c := range all {
-		promised += Promised(c)
+		promised += PromisedInstances(c)
 		spare += c.Spare
 	}
 	if promised+spare <= len(f.Instances) {
@@ -150,7 +150,7 @@
 // it, so the spare must hold as many as the customer has in the domain.
 func shortSpare(q Input) []Shortfall {
 	c := q.Contract
-	total := Promised(c) + c.Spare
+	total := PromisedInstances(c) + c.Spare
 	sizes := domainSizes(q.Fleet, c.Covers)
 	loss, name := evenLoad(sizes, total)
 	if loss <= c.Spare {
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -166,7 +166,7 @@
 				c.MaxUnavailable = k % 5
 				v := Evaluate(severity, MinSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
-				if v.Decision != Refuse && Promised(c)+c.Spare > 50 {
+				if v.Decision != Refuse && PromisedInstances(c)+c.Spare > 50 {
 					broken++
 				}
 			}
