--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -66,13 +66,13 @@
 type Fleet struct {
 	// Instances must be sorted by ID, without retired ones.
 	Instances []model.Instance
-	// Workers is the sum of all workers' resources.
-	Workers model.Quota
+	// WorkerResources is the sum of all workers' resources.
+	WorkerResources model.Quota
 }
 
 // NewFleet sorts the instances that are part of the fleet.
 func NewFleet(instances map[model.InstanceID]model.Instance, workers model.Quota) Fleet {
-	f := Fleet{Workers: workers, Instances: make([]model.Instance, 0, len(instances))}
+	f := Fleet{WorkerResources: workers, Instances: make([]model.Instance, 0, len(instances))}
 	for _, i := range instances {
 		if i.Phase != model.PhaseRetired {
 			f.Instances = append(f.Instances, i)
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -104,7 +104,7 @@
 		v.Shortfalls = append(v.Shortfalls, shortInstances(all, q.Fleet)...)
 		v.Shortfalls = append(v.Shortfalls, shortSpare(q)...)
 		v.Shortfalls = append(v.Shortfalls, shortSlots(slots, q)...)
-		v.Shortfalls = append(v.Shortfalls, shortQuota(all, q.Fleet.Workers)...)
+		v.Shortfalls = append(v.Shortfalls, shortQuota(all, q.Fleet.WorkerResources)...)
 		v.Shortfalls = append(v.Shortfalls, shortMaintenance(set, q)...)
 	}
 	v.Decision = Accept
