--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -60,14 +60,14 @@
 		out = append(out, Shortfall{
 			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
-				name, n, left, c.MaxUnavailable, set.MaintainMillis, have),
+				name, n, left, c.MaxUnavailable, set.MaintenanceMillis, have),
 		})
 	}
 	if have := byBudget(set, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallBudget, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
-				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintainMillis, have),
+				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintenanceMillis, have),
 		})
 	}
 	return out
@@ -86,7 +86,7 @@
 		largest = max(largest, d.n)
 	}
 	width := int64(min(c.MaxUnavailable, PromisedInstances(c)+c.Spare, largest))
-	return int64(left/max(set.MaintainMillis, 1)) * width
+	return int64(left/max(set.MaintenanceMillis, 1)) * width
 }
 
 // byBudget is the number of maintenances that the window budget allows in the
@@ -99,5 +99,5 @@
 		return 0
 	}
 	windows := int64((left + c.WindowMillis - 1) / c.WindowMillis)
-	return windows * int64(c.BudgetMillis/max(set.MaintainMillis, 1))
+	return windows * int64(c.BudgetMillis/max(set.MaintenanceMillis, 1))
 }
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -74,9 +74,9 @@
 
 // Settings are the figures that a judgement assumes.
 type Settings struct {
-	// MaintainMillis is how long one instance is out of service for one
+	// MaintenanceMillis is how long one instance is out of service for one
 	// maintenance; at least 1.
-	MaintainMillis clock.Millis
+	MaintenanceMillis clock.Millis
 	// PeriodMillis is the time within which every instance must be maintained
 	// once; 0 turns the goal off.
 	PeriodMillis clock.Millis
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -50,7 +50,7 @@
 
 // Guards against a shortfall that goes unstated or has the wrong numbers.
 func TestJudgeStatesShortfalls(t *testing.T) {
-	set := Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
+	set := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
 	rebase := func(f func(*Input)) Input {
 		q := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
 		f(&q)
@@ -164,7 +164,7 @@
 			for k := range 300 {
 				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
-				v := Evaluate(severity, MinSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
+				v := Evaluate(severity, MinSlots{}, Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
 				if v.Decision != Refuse && PromisedInstances(c)+c.Spare > 50 {
 					broken++
--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -18,8 +18,8 @@
 
 func newChecker(cfg conf.Control, c clock.Clock) *checker {
 	return &checker{clock: c, set: limits.Settings{
-		MaintainMillis: cfg.Maintenance.StepMillis,
-		PeriodMillis:   clock.Millis(cfg.Maintenance.PeriodDays) * clock.Day,
+		MaintenanceMillis: cfg.Maintenance.StepMillis,
+		PeriodMillis:      clock.Millis(cfg.Maintenance.PeriodDays) * clock.Day,
 	}}
 }
 
