--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -67,9 +67,9 @@
 		reply <- unavailable("no leader is known here")
 		return
 	}
-	ops := r.board.Decided()
+	ops := r.board.PendingOps()
 	a := r.handle(c, now)
-	uncertain := c.Kind == CallSubmit && r.board.Decided() == ops
+	uncertain := c.Kind == CallSubmit && r.board.PendingOps() == ops
 	r.next.answers = append(r.next.answers, callAnswer{answer: a, reply: reply, uncertain: uncertain})
 	switch a.Kind {
 	case AnswerNoJob, AnswerNoQueue, AnswerNoWave:
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -235,8 +235,8 @@
 	b.out.Ops = append(b.out.Ops, o)
 }
 
-// Decided is the number of operations since the last plan.
-func (b *Board[O, J]) Decided() int { return len(b.out.Ops) }
+// PendingOps is the number of operations since the last plan.
+func (b *Board[O, J]) PendingOps() int { return len(b.out.Ops) }
 
 // readConfig maps queues to pools once a new configuration is in force.
 func (b *Board[O, J]) readConfig() {
