--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -145,7 +145,7 @@
 	rec := r.board.State.Jobs[id]
 	switch {
 	case c.Kind == CallPending:
-		return Answer{Count: r.board.Pending(q.Name)}
+		return Answer{Count: r.board.PendingJobs(q.Name)}
 	case id == "":
 		return Answer{Kind: AnswerInvalid, Reason: "the path names no job"}
 	case c.Kind == CallSubmit:
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -339,9 +339,9 @@
 	b.regroup()
 }
 
-// Pending counts the accepted jobs of a queue of which no task has started,
+// PendingJobs counts the accepted jobs of a queue of which no task has started,
 // without scheduled ones.
-func (b *Board[O, J]) Pending(q jobs.QueueName) int {
+func (b *Board[O, J]) PendingJobs(q jobs.QueueName) int {
 	n := 0
 	for _, p := range b.pools {
 		seen := map[jobs.ID]bool{}
