--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -36,7 +36,7 @@
 		r.takeBeat(in.beat, in.reply, now)
 	case in.leave != nil:
 		if r.board != nil {
-			r.board.Leave(in.leave.worker, in.leave.life, now)
+			r.board.RemoveWorker(in.leave.worker, in.leave.life, now)
 		}
 	case in.acted != nil:
 		if r.board != nil && in.acted.action.term == r.term {
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -268,8 +268,8 @@
 	}
 }
 
-// Leave takes a worker that ended by itself off the board.
-func (b *Board[O, J]) Leave(id jobs.WorkerID, life jobs.Incarnation, now clock.Millis) {
+// RemoveWorker takes a worker that ended by itself off the board.
+func (b *Board[O, J]) RemoveWorker(id jobs.WorkerID, life jobs.Incarnation, now clock.Millis) {
 	if w := b.workers[id]; w != nil && (life == 0 || life == w.life) {
 		b.remove(w, "the worker left", now)
 	}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -79,7 +79,7 @@
 	p = r.Pass(r.now)
 	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].DoneTasks, 6)
 	assert.Equal(t, len(orders(p, "w1").Starts), 1)
-	r.Leave("w2", 1, r.now)
+	r.RemoveWorker("w2", 1, r.now)
 	r.now += 500
 	done := endsOf(orders(p, "w1"), jobs.ResultDone)
 	done[0].Number = 2
@@ -252,7 +252,7 @@
 	r.hear("w2", 1, nil)
 	p := r.Pass(r.now)
 	rest := runningOf(orders(p, "w2"))
-	r.Leave("w1", 1, r.now)
+	r.RemoveWorker("w1", 1, r.now)
 	next := &rig{testBoard: NewBoard(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	next.hear("w2", 1, rest)
 	assert.Equal(t, len(orders(next.Pass(next.now), "w2").Stops), len(rest))
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -165,7 +165,7 @@
 	r.submit("a", small)
 	r.seq++
 	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
-	r.Leave("w1", 0, r.now)
+	r.RemoveWorker("w1", 0, r.now)
 	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 }
 
