--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -94,7 +94,7 @@
 		}
 		return Answer{ConfigDocument: s.Config.Document, ConfigVersion: s.Config.Version}
 	case CallDeclareWave:
-		r.board.Declare(c.Wave, now)
+		r.board.DeclareWave(c.Wave, now)
 		return Answer{}
 	case CallGetWave:
 		w := s.Waves[c.WaveNumber]
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -236,7 +236,7 @@
 		s := orders(p, id).Starts[0]
 		r.hear(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
 	}
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, r.now)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 1)
 }
 
@@ -245,7 +245,7 @@
 func TestWavePassesMachinesThatAreOff(t *testing.T) {
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	first := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(first), 1)
 	r.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, r.now)
@@ -264,7 +264,7 @@
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
 	machines := []jobs.MachineID{"m1", "m2", "m3", "m4", "m5"}
-	r.Declare(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
 	for range 5 {
 		for _, a := range actions(r.Pass(r.now), ActionMaintain) {
 			r.HandleOutcome(a, Outcome{Answer: AnswerLater}, r.now)
@@ -296,7 +296,7 @@
 func TestWaveDropsMissingMachines(t *testing.T) {
 	r := newRig(Defaults())
 	r.now += r.set.QuietMillis
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, r.now)
 	lists := 0
 	for range 40 {
 		p := r.Pass(r.now)
@@ -325,7 +325,7 @@
 	r.hear("w1", 1, nil)
 	r.Pass(r.now)
 	r.now += r.set.QuietMillis
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	order := actions(r.Pass(r.now), ActionMaintain)[0]
 	r.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, r.now)
 	r.now += 2500
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -56,8 +56,8 @@
 	return v
 }
 
-// Declare accepts a wave. A number that is known is left as it is.
-func (b *Board[O, J]) Declare(w jobs.Wave, now clock.Millis) {
+// DeclareWave accepts a wave. A number that is known is left as it is.
+func (b *Board[O, J]) DeclareWave(w jobs.Wave, now clock.Millis) {
 	if b.State.Waves[w.Number] != nil {
 		return
 	}
