--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -450,7 +450,7 @@
 		r.observe(now - b.since)
 	}
 	if b.load {
-		r.board = sched.NewBoard(r.set, r.order, r.judge, b.state, now)
+		r.board = sched.New(r.set, r.order, r.judge, b.state, now)
 		return
 	}
 	r.released(b, now)
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -19,7 +19,7 @@
 		c.Queues = append(c.Queues, jobs.Queue{Name: jobs.QueueName(name), Host: name, Prefix: "/", Pool: jobs.PoolName(name), MaxAttempts: 3, Target: 1 << 40})
 	}
 	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
-	b := NewBoard(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000)
+	b := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000)
 	beats := make([]Heartbeat, n)
 	for i := range beats {
 		pool := jobs.PoolName(fmt.Sprint("p", i/70))
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -161,10 +161,10 @@
 	why string
 }
 
-// NewBoard returns a board for a leader whose term begins at now, with the
+// New returns a board for a leader whose term begins at now, with the
 // committed state. Whatever is assigned may run on its worker until the
 // longest lease has ended, even if the worker is never heard.
-func NewBoard[O RankPolicy, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
+func New[O RankPolicy, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
 	b := &Board[O, J]{
 		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -253,7 +253,7 @@
 	p := r.Pass(r.now)
 	rest := runningOf(orders(p, "w2"))
 	r.RemoveWorker("w1", 1, r.now)
-	next := &rig{testBoard: NewBoard(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	next := &rig{testBoard: New(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	next.hear("w2", 1, rest)
 	assert.Equal(t, len(orders(next.Pass(next.now), "w2").Stops), len(rest))
 }
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -122,7 +122,7 @@
 	set.SurgeMillis = 0
 	const start = 100_000
 	base := newRig(set)
-	b := NewBoard(set, order, place.PeerComparison{MinScore: 3}, base.State, start)
+	b := New(set, order, place.PeerComparison{MinScore: 3}, base.State, start)
 	takes := map[jobs.ID]arrival{}
 	var workers []*loadWorker
 	for n := range loadWorkers {
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -102,7 +102,7 @@
 	r.now += paceMillis
 	r.hear("w1", 1, running)
 	assert.Assert(t, orders(r.Pass(r.now), "w1").Throttles[0].Percent < 100)
-	next := &rig{testBoard: NewBoard(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	next := &rig{testBoard: New(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	for i := range running {
 		running[i].Load = int(target) / 4
 	}
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -88,7 +88,7 @@
 		Version: 1, Pools: []jobs.Pool{{Name: "p"}, {Name: "other"}, {Name: "off", Standby: true}},
 		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500}},
 	}}}, 1000)
-	return &rig{testBoard: NewBoard(set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000), now: 1000}
+	return &rig{testBoard: New(set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000), now: 1000}
 }
 
 // hear passes a heartbeat of a worker with 16 processors, which runs what is
@@ -271,7 +271,7 @@
 		}
 		r.now += upkeepPeriod
 	}
-	next := &rig{testBoard: NewBoard(r.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, r.State.Clone(), r.now), now: r.now}
+	next := &rig{testBoard: New(r.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, r.State.Clone(), r.now), now: r.now}
 	assert.Assert(t, len(next.State.Waves[1].Ordered) > 2)
 	down := map[jobs.MachineID]clock.Millis{}
 	for range 400 {
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -138,7 +138,7 @@
 	w.token++
 	w.stale = w.lead
 	w.lead = &leader{
-		board: NewBoard(w.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
+		board: New(w.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
 		token: w.token, confirmed: w.now,
 	}
 }
