--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -62,7 +62,7 @@
 	counts  atomic.Pointer[Counts]
 
 	// What follows is touched by the duty's goroutine alone.
-	board *sched.Board[O, J]
+	board *sched.Scheduler[O, J]
 	term  uint64
 	// next collects what the passes decided; flying is being committed.
 	next   batch
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -64,10 +64,10 @@
 
 // adviceOf returns the rule of a job's queue; the zero value for a queue without
 // advice.
-func (b *Board[O, J]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return b.advices[r.Queue] }
+func (b *Scheduler[O, J]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return b.advices[r.Queue] }
 
 // ticket returns a worker's ticket for a step of a queue with advice.
-func (b *Board[O, J]) ticket(w *worker, k groupKey, now clock.Millis) (string, bool) {
+func (b *Scheduler[O, J]) ticket(w *worker, k groupKey, now clock.Millis) (string, bool) {
 	a := b.advice.steps[k]
 	if a == nil {
 		return "", false
@@ -77,7 +77,7 @@
 }
 
 // allowed reports whether the rules of the group's queue let the worker run it.
-func (b *Board[O, J]) allowed(w *worker, g *group, now clock.Millis) bool {
+func (b *Scheduler[O, J]) allowed(w *worker, g *group, now clock.Millis) bool {
 	if b.adviceOf(g.rec).TicketValidity == 0 {
 		return true
 	}
@@ -89,7 +89,7 @@
 // group, unless another question is on its way. It names about as many as hold
 // enough good ones by the queue's earlier answers, those that tasks would be
 // placed on first.
-func (b *Board[O, J]) ask(p *pool, g *group, now clock.Millis) {
+func (b *Scheduler[O, J]) ask(p *pool, g *group, now clock.Millis) {
 	if b.adviceOf(g.rec).TicketValidity == 0 || b.advice.lives != nil {
 		return
 	}
@@ -120,7 +120,7 @@
 
 // unasked lists the pool's workers that could take a task of the group and of
 // which it is not known whether they may.
-func (b *Board[O, J]) unasked(p *pool, g *group, a *advised, now clock.Millis) []*worker {
+func (b *Scheduler[O, J]) unasked(p *pool, g *group, a *advised, now clock.Millis) []*worker {
 	var open []*worker
 	for w := range b.heard(p, now) {
 		if !b.takes(w, g, now) || w.seats(w.room, g) == 0 {
@@ -144,14 +144,14 @@
 
 // question is the number of workers to name: as many as the waiting tasks take,
 // over the share of good ones.
-func (b *Board[O, J]) question(g *group, w *worker) int {
+func (b *Scheduler[O, J]) question(g *group, w *worker) int {
 	wanted := (len(g.waiting) + w.seats(w.room, g) - 1) / w.seats(w.room, g)
 	c := b.advice.counts[g.rec.Queue]
 	return min(1+wanted*(c.named+2)/(c.good+1), askMost)
 }
 
 // answered takes the answer of the advice service.
-func (b *Board[O, J]) answered(a Action, o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) answered(a Action, o Outcome, now clock.Millis) {
 	lives, asked, key := b.advice.lives, b.advice.asked, b.advice.asking
 	b.advice.lives = nil
 	step, rec := b.advice.steps[key], b.State.Jobs[key.job]
@@ -181,7 +181,7 @@
 }
 
 // forgetAdvice drops what is known of the steps of a job that is over.
-func (b *Board[O, J]) forgetAdvice(r *jobs.Record) {
+func (b *Scheduler[O, J]) forgetAdvice(r *jobs.Record) {
 	if len(b.advice.steps) == 0 {
 		return
 	}
@@ -193,7 +193,7 @@
 }
 
 // refusedTicket drops a ticket that a worker has not accepted.
-func (b *Board[O, J]) refusedTicket(w *worker, r *run) {
+func (b *Scheduler[O, J]) refusedTicket(w *worker, r *run) {
 	if a := b.advice.steps[keyOf(r.task)]; a != nil {
 		delete(a.opinions, w.id)
 	}
--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -12,7 +12,7 @@
 // Heartbeat takes a heartbeat, which waits for its answer in a later plan. It
 // reports false for one that is late: of an earlier life of its worker or
 // machine, or from before one that was taken already.
-func (b *Board[O, J]) Heartbeat(h Heartbeat, now clock.Millis) bool {
+func (b *Scheduler[O, J]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	b.now = max(b.now, now)
 	w := b.workers[h.Worker]
 	if w != nil && (h.Incarnation < w.life || (h.Incarnation == w.life && w.known && h.Seq <= w.seq)) {
@@ -56,7 +56,7 @@
 }
 
 // answerBy sets the time at which a worker's heartbeat has to be answered.
-func (b *Board[O, J]) answerBy(w *worker, at clock.Millis) {
+func (b *Scheduler[O, J]) answerBy(w *worker, at clock.Millis) {
 	if w.beat == nil || (w.beat.set && w.beat.due <= at) {
 		return
 	}
@@ -65,7 +65,7 @@
 }
 
 // settle brings what the worker says of itself up to date.
-func (b *Board[O, J]) settle(w *worker, h Heartbeat, now clock.Millis) {
+func (b *Scheduler[O, J]) settle(w *worker, h Heartbeat, now clock.Millis) {
 	if m := b.machines[h.Machine]; m != nil && m != w {
 		b.remove(m, "another worker runs on its machine", now)
 	}
@@ -97,7 +97,7 @@
 
 // ends takes the ends that the worker lists and returns the number of the
 // last.
-func (b *Board[O, J]) ends(w *worker, h Heartbeat, now clock.Millis) int64 {
+func (b *Scheduler[O, J]) ends(w *worker, h Heartbeat, now clock.Millis) int64 {
 	ack := int64(0)
 	for _, e := range h.Ends {
 		ack = max(ack, e.Number)
@@ -111,7 +111,7 @@
 }
 
 // end notes the end of a run and queues what may follow it.
-func (b *Board[O, J]) end(w *worker, r *run, how jobs.Result, saved string, now clock.Millis) {
+func (b *Scheduler[O, J]) end(w *worker, r *run, how jobs.Result, saved string, now clock.Millis) {
 	if saved == "" {
 		saved = r.saved
 	}
@@ -153,7 +153,7 @@
 }
 
 // follow queues the steps that waited for the step of a task that is done.
-func (b *Board[O, J]) follow(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
+func (b *Scheduler[O, J]) follow(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
 	st := &r.Occurrences[t.Occurrence].Steps[t.Step]
 	if st.DoneTasks < len(st.Tasks) {
 		return
@@ -169,7 +169,7 @@
 }
 
 // listed compares the runs that the worker lists with those assigned to it.
-func (b *Board[O, J]) listed(w *worker, h Heartbeat, now clock.Millis) {
+func (b *Scheduler[O, J]) listed(w *worker, h Heartbeat, now clock.Millis) {
 	for _, r := range w.runs {
 		r.listed = false
 	}
@@ -191,7 +191,7 @@
 	}
 }
 
-func (b *Board[O, J]) dropStrays(w *worker) {
+func (b *Scheduler[O, J]) dropStrays(w *worker) {
 	for _, s := range w.strays {
 		w.used = w.used.Minus(s.need)
 	}
@@ -200,7 +200,7 @@
 
 // addStray counts a run that is not assigned to the worker: it takes room
 // until it has ended.
-func (b *Board[O, J]) addStray(w *worker, x RunStatus) {
+func (b *Scheduler[O, J]) addStray(w *worker, x RunStatus) {
 	s := stray{run: x.Run}
 	if r := b.State.Jobs[x.Task.Job]; r != nil && x.Task.Step >= 0 && x.Task.Step < len(r.Steps) {
 		s.need = counted(&r.Steps[x.Task.Step])
@@ -215,7 +215,7 @@
 // answerRuns repeats the orders that the heartbeat shows not to have arrived.
 // A heartbeat that does not list a run was sent after the answer that ordered
 // it was taken or dropped, so the run does not start by that answer any more.
-func (b *Board[O, J]) answerRuns(w *worker, now clock.Millis) {
+func (b *Scheduler[O, J]) answerRuns(w *worker, now clock.Millis) {
 	for t, s := range w.strays {
 		w.beat.stops = append(w.beat.stops, Stop{Task: t, Run: s.run})
 	}
@@ -243,19 +243,19 @@
 
 // leave stops a lasting task on a worker that drains, so that it works
 // elsewhere before the worker ends.
-func (b *Board[O, J]) leave(w *worker, r *run, now clock.Millis) {
+func (b *Scheduler[O, J]) leave(w *worker, r *run, now clock.Millis) {
 	if r.step.LongRunning && !r.stopping {
 		b.stop(w, r, "its worker drains")
 	}
 }
 
-func (b *Board[O, J]) startOf(w *worker, r *run) Start {
+func (b *Scheduler[O, J]) startOf(w *worker, r *run) Start {
 	ticket, _ := b.ticket(w, keyOf(r.task), b.now)
 	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Checkpoint: r.rec.Task(r.task).Checkpoint, Ticket: ticket}
 }
 
 // stop orders the end of a run with the next answer to its worker.
-func (b *Board[O, J]) stop(w *worker, r *run, why string) {
+func (b *Scheduler[O, J]) stop(w *worker, r *run, why string) {
 	if r.stopping {
 		return
 	}
@@ -269,7 +269,7 @@
 }
 
 // RemoveWorker takes a worker that ended by itself off the board.
-func (b *Board[O, J]) RemoveWorker(id jobs.WorkerID, life jobs.Incarnation, now clock.Millis) {
+func (b *Scheduler[O, J]) RemoveWorker(id jobs.WorkerID, life jobs.Incarnation, now clock.Millis) {
 	if w := b.workers[id]; w != nil && (life == 0 || life == w.life) {
 		b.remove(w, "the worker left", now)
 	}
@@ -277,7 +277,7 @@
 
 // remove takes a life of a worker off the board that certainly runs nothing
 // any more; its tasks may start elsewhere.
-func (b *Board[O, J]) remove(w *worker, why string, now clock.Millis) {
+func (b *Scheduler[O, J]) remove(w *worker, why string, now clock.Millis) {
 	b.lose(w, why, now)
 	b.ended[w.id] = max(b.ended[w.id], w.life)
 	delete(b.pool(w.pool).present, w.id)
@@ -290,7 +290,7 @@
 }
 
 // lose ends all runs of a worker.
-func (b *Board[O, J]) lose(w *worker, why string, now clock.Millis) {
+func (b *Scheduler[O, J]) lose(w *worker, why string, now clock.Millis) {
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		r.why = why
@@ -302,7 +302,7 @@
 // judgeWorker weighs the end of a run against its worker, next to how the
 // queue's tasks fare on other workers. Several failures of one job count once:
 // a job that can never be done fails wherever it runs.
-func (b *Board[O, J]) judgeWorker(w *worker, r *run, failed bool, now clock.Millis) {
+func (b *Scheduler[O, J]) judgeWorker(w *worker, r *run, failed bool, now clock.Millis) {
 	p := b.pool(w.pool)
 	rec := p.records[r.rec.Queue]
 	if rec == nil {
@@ -335,7 +335,7 @@
 // holdUntil is when a heartbeat has to be answered. A worker whose task may
 // end soon is answered at once, because it reports the end only after the
 // answer.
-func (b *Board[O, J]) holdUntil(w *worker, now clock.Millis) clock.Millis {
+func (b *Scheduler[O, J]) holdUntil(w *worker, now clock.Millis) clock.Millis {
 	if w.beat.pressed || len(w.beat.starts) > 0 || len(w.beat.stops) > 0 {
 		return now
 	}
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -10,9 +10,9 @@
 	"camphorridge/core/state/place"
 )
 
-// Board holds what the leader knows of workers and of waiting work. One duty
+// Scheduler holds what the leader knows of workers and of waiting work. One duty
 // owns it.
-type Board[O RankPolicy, J place.HealthPolicy] struct {
+type Scheduler[O RankPolicy, J place.HealthPolicy] struct {
 	set   Settings
 	order O
 	judge J
@@ -164,8 +164,8 @@
 // New returns a board for a leader whose term begins at now, with the
 // committed state. Whatever is assigned may run on its worker until the
 // longest lease has ended, even if the worker is never heard.
-func New[O RankPolicy, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
-	b := &Board[O, J]{
+func New[O RankPolicy, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Scheduler[O, J] {
+	b := &Scheduler[O, J]{
 		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
@@ -183,7 +183,7 @@
 }
 
 // adopt enters a job that was accepted before this term.
-func (b *Board[O, J]) adopt(r *jobs.Record, now clock.Millis) {
+func (b *Scheduler[O, J]) adopt(r *jobs.Record, now clock.Millis) {
 	for id, t := range r.Tasks() {
 		if t.Phase != jobs.PhaseAssigned {
 			continue
@@ -205,16 +205,16 @@
 
 // longest is the time after which a lease that was granted at most now has
 // ended on the slowest clock.
-func (b *Board[O, J]) longest() clock.Millis {
+func (b *Scheduler[O, J]) longest() clock.Millis {
 	return b.set.LeaseMillis + b.set.LeaseMillis*b.set.DriftPermille/1000
 }
 
-func (b *Board[O, J]) attach(w *worker, r *run) {
+func (b *Scheduler[O, J]) attach(w *worker, r *run) {
 	w.runs[r.task] = r
 	w.used = w.used.Plus(counted(r.step))
 }
 
-func (b *Board[O, J]) detach(w *worker, r *run) {
+func (b *Scheduler[O, J]) detach(w *worker, r *run) {
 	delete(w.runs, r.task)
 	w.used = w.used.Minus(counted(r.step))
 }
@@ -230,16 +230,16 @@
 }
 
 // apply changes the board's copy and adds the operation to the plan.
-func (b *Board[O, J]) apply(o jobs.Op, now clock.Millis) {
+func (b *Scheduler[O, J]) apply(o jobs.Op, now clock.Millis) {
 	b.State.Apply([]jobs.Op{o}, max(now, b.State.Time))
 	b.out.Ops = append(b.out.Ops, o)
 }
 
 // PendingOps is the number of operations since the last plan.
-func (b *Board[O, J]) PendingOps() int { return len(b.out.Ops) }
+func (b *Scheduler[O, J]) PendingOps() int { return len(b.out.Ops) }
 
 // readConfig maps queues to pools once a new configuration is in force.
-func (b *Board[O, J]) readConfig() {
+func (b *Scheduler[O, J]) readConfig() {
 	c := &b.State.Config
 	if b.queues != nil && c.Version == b.placed {
 		return
@@ -257,7 +257,7 @@
 
 // poolOf is the pool that runs a job: that of its queue, and for a queue that
 // was removed that of its submission.
-func (b *Board[O, J]) poolOf(r *jobs.Record) jobs.PoolName {
+func (b *Scheduler[O, J]) poolOf(r *jobs.Record) jobs.PoolName {
 	if p, ok := b.queues[r.Queue]; ok {
 		return p
 	}
@@ -265,7 +265,7 @@
 }
 
 // Submit accepts a job. A job that is known is left as it is.
-func (b *Board[O, J]) Submit(j jobs.Job, now clock.Millis) {
+func (b *Scheduler[O, J]) Submit(j jobs.Job, now clock.Millis) {
 	if b.State.Jobs[j.ID] != nil {
 		return
 	}
@@ -279,7 +279,7 @@
 
 // noteEnd explains the final status of a job: how long it took, and for a late
 // one what kept it.
-func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
+func (b *Scheduler[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
 	late := now - Deadline(r, len(r.Occurrences)-1)
 	b.forgetAdvice(r)
 	reason := fmt.Sprintf("after %d ms", now-r.AcceptedAt)
@@ -298,7 +298,7 @@
 }
 
 // Cancel ends a job. It reports false for one that is not known.
-func (b *Board[O, J]) Cancel(id jobs.ID, now clock.Millis) bool {
+func (b *Scheduler[O, J]) Cancel(id jobs.ID, now clock.Millis) bool {
 	r := b.State.Jobs[id]
 	if r == nil {
 		return false
@@ -312,7 +312,7 @@
 }
 
 // stopJob orders the end of what runs of a job that is over.
-func (b *Board[O, J]) stopJob(r *jobs.Record) {
+func (b *Scheduler[O, J]) stopJob(r *jobs.Record) {
 	for id, t := range r.Tasks() {
 		if w, x := b.assigned(id, t); x != nil {
 			b.stop(w, x, r.Status.String())
@@ -321,7 +321,7 @@
 }
 
 // assigned returns the run of an assigned task and its worker; nil for others.
-func (b *Board[O, J]) assigned(id jobs.TaskID, t *jobs.TaskState) (*worker, *run) {
+func (b *Scheduler[O, J]) assigned(id jobs.TaskID, t *jobs.TaskState) (*worker, *run) {
 	w := b.workers[t.Worker]
 	if t.Phase != jobs.PhaseAssigned || w == nil {
 		return nil, nil
@@ -330,7 +330,7 @@
 }
 
 // Configure puts a configuration in force when it is newer.
-func (b *Board[O, J]) Configure(c jobs.Config, now clock.Millis) {
+func (b *Scheduler[O, J]) Configure(c jobs.Config, now clock.Millis) {
 	if c.Version <= b.State.Config.Version {
 		return
 	}
@@ -341,7 +341,7 @@
 
 // PendingJobs counts the accepted jobs of a queue of which no task has started,
 // without scheduled ones.
-func (b *Board[O, J]) PendingJobs(q jobs.QueueName) int {
+func (b *Scheduler[O, J]) PendingJobs(q jobs.QueueName) int {
 	n := 0
 	for _, p := range b.pools {
 		seen := map[jobs.ID]bool{}
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -93,7 +93,7 @@
 
 // List returns the jobs that have not ended, the oldest first and at most a
 // number of them, and how many there are.
-func (b *Board[O, J]) List(most int) (lines []JobLine, total int) {
+func (b *Scheduler[O, J]) List(most int) (lines []JobLine, total int) {
 	var open []*jobs.Record
 	for _, r := range b.State.Jobs {
 		if !r.Status.Final() {
@@ -108,7 +108,7 @@
 }
 
 // Explain reports on a job; false for one that is not known.
-func (b *Board[O, J]) Explain(id jobs.ID, now clock.Millis) (JobReport, bool) {
+func (b *Scheduler[O, J]) Explain(id jobs.ID, now clock.Millis) (JobReport, bool) {
 	r := b.State.Jobs[id]
 	if r == nil {
 		return JobReport{}, false
@@ -129,7 +129,7 @@
 	return x, true
 }
 
-func (b *Board[O, J]) explainStep(r *jobs.Record, k, i int, now clock.Millis) StepReport {
+func (b *Scheduler[O, J]) explainStep(r *jobs.Record, k, i int, now clock.Millis) StepReport {
 	st := &r.Occurrences[k].Steps[i]
 	x := StepReport{Occurrence: k, Step: i, Tasks: len(st.Tasks), Done: st.DoneTasks, Fails: r.Failures(k, i)}
 	for _, t := range st.Tasks {
@@ -155,7 +155,7 @@
 
 // limitOf passes the workers of the pool through what a task asks of them, one
 // after the other, and returns what the last of them fail.
-func (b *Board[O, J]) limitOf(r *jobs.Record, k, i int, now clock.Millis) Limit {
+func (b *Scheduler[O, J]) limitOf(r *jobs.Record, k, i int, now clock.Millis) Limit {
 	p := b.pool(b.poolOf(r))
 	g := &group{key: groupKey{r.ID, k, i}, rec: r, step: &r.Steps[i]}
 	need := counted(g.step)
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -15,7 +15,7 @@
 
 // startGang starts all tasks of a gang at once, and reports whether it could or
 // none of them may start now.
-func (b *Board[O, J]) startGang(p *pool, g *group, now clock.Millis) bool {
+func (b *Scheduler[O, J]) startGang(p *pool, g *group, now clock.Millis) bool {
 	if len(g.waiting) < g.step.TaskCount {
 		return true
 	}
@@ -34,7 +34,7 @@
 // seats picks a present worker for each task of a gang; nil when there is not
 // room for all of them. A gang for one rack waits for it for as long as one of
 // its tasks takes, because it works more slowly on several.
-func (b *Board[O, J]) seats(p *pool, g *group, now clock.Millis) []*worker {
+func (b *Scheduler[O, J]) seats(p *pool, g *group, now clock.Millis) []*worker {
 	if !g.step.SameRack {
 		return b.gather(p, g, "", now)
 	}
@@ -59,7 +59,7 @@
 
 // gather picks present workers of a rack, or of any if rack is empty. Workers on
 // the rack of the data go first and then fuller ones, as for single tasks.
-func (b *Board[O, J]) gather(p *pool, g *group, rack string, now clock.Millis) []*worker {
+func (b *Scheduler[O, J]) gather(p *pool, g *group, rack string, now clock.Millis) []*worker {
 	failed := b.failedWorkers(g)
 	order := slices.SortedFunc(maps.Values(p.present), func(x, y *worker) int {
 		if s, t := b.score(x, g), b.score(y, g); s.better(t) {
@@ -83,7 +83,7 @@
 }
 
 // failedWorkers holds the workers on which tasks of the group failed last.
-func (b *Board[O, J]) failedWorkers(g *group) map[jobs.WorkerID]bool {
+func (b *Scheduler[O, J]) failedWorkers(g *group) map[jobs.WorkerID]bool {
 	failed := map[jobs.WorkerID]bool{}
 	for n := range g.step.TaskCount {
 		if id, ok := b.failedOn[g.key.task(n)]; ok {
@@ -106,7 +106,7 @@
 
 // capacity counts the tasks of a group that the pool's workers, and those of
 // its best rack, could run once all that ends by itself has ended.
-func (b *Board[O, J]) capacity(p *pool, g *group, now clock.Millis) (whole, rack int) {
+func (b *Scheduler[O, J]) capacity(p *pool, g *group, now clock.Millis) (whole, rack int) {
 	byRack := map[string]int{}
 	for w := range b.heard(p, now) {
 		if !b.takes(w, g, now) || !b.allowed(w, g, now) {
@@ -134,7 +134,7 @@
 // keepRoom reports whether work that comes after a gang has to leave the free
 // room of the pool to it: without that a wide gang never finds enough at once.
 // A gang that the pool cannot hold, or that waits for advice, keeps none.
-func (b *Board[O, J]) keepRoom(p *pool, g *group, now clock.Millis) bool {
+func (b *Scheduler[O, J]) keepRoom(p *pool, g *group, now clock.Millis) bool {
 	if g.rank.Class == classLate || now-g.since < roomMillis {
 		return false
 	}
@@ -144,7 +144,7 @@
 
 // breakGang stops the other tasks of a gang when one has ended before its work
 // was done: they cannot work without it, and start again all together.
-func (b *Board[O, J]) breakGang(r *jobs.Record, t jobs.TaskID) {
+func (b *Scheduler[O, J]) breakGang(r *jobs.Record, t jobs.TaskID) {
 	if !r.Steps[t.Step].Gang {
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 // adoptGangs stops what is left of gangs that broke in an earlier term.
-func (b *Board[O, J]) adoptGangs(r *jobs.Record) {
+func (b *Scheduler[O, J]) adoptGangs(r *jobs.Record) {
 	for id, t := range r.Tasks() {
 		if t.Phase == jobs.PhaseWaiting && t.Run > 0 {
 			b.breakGang(r, id)
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -61,16 +61,16 @@
 }
 
 // noteRun explains a decision on a run.
-func (b *Board[O, J]) noteRun(what Decision, r *run, w *worker, reason string) {
+func (b *Scheduler[O, J]) noteRun(what Decision, r *run, w *worker, reason string) {
 	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
 }
 
 // noteJob explains a decision on a whole job.
-func (b *Board[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
+func (b *Scheduler[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
 	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: failure})
 }
 
 // noteFleet explains a decision on machines or pools.
-func (b *Board[O, J]) noteFleet(what Decision, reason string) {
+func (b *Scheduler[O, J]) noteFleet(what Decision, reason string) {
 	b.out.Notes = append(b.out.Notes, Note{Decision: what, Reason: reason})
 }
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -144,7 +144,7 @@
 }
 
 // heard yields the workers of a pool that were heard lately.
-func (b *Board[O, J]) heard(p *pool, now clock.Millis) iter.Seq[*worker] {
+func (b *Scheduler[O, J]) heard(p *pool, now clock.Millis) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
 		for _, w := range b.workers {
 			if b.pools[w.pool] == p && w.known && w.until >= now && !yield(w) {
@@ -154,7 +154,7 @@
 	}
 }
 
-func (b *Board[O, J]) pool(name jobs.PoolName) *pool {
+func (b *Scheduler[O, J]) pool(name jobs.PoolName) *pool {
 	p := b.pools[name]
 	if p == nil {
 		p = &pool{
@@ -166,7 +166,7 @@
 }
 
 // enter queues the tasks of a job that may start.
-func (b *Board[O, J]) enter(r *jobs.Record, now clock.Millis) {
+func (b *Scheduler[O, J]) enter(r *jobs.Record, now clock.Millis) {
 	if r.Status.Final() {
 		return
 	}
@@ -179,7 +179,7 @@
 	}
 }
 
-func (b *Board[O, J]) enterOccurrence(r *jobs.Record, k int, now clock.Millis) {
+func (b *Scheduler[O, J]) enterOccurrence(r *jobs.Record, k int, now clock.Millis) {
 	p := b.pool(b.poolOf(r))
 	for i := range r.Steps {
 		p.arrived += ending(&r.Steps[i], r.Steps[i].TaskCount, r.Steps[i].Estimate)
@@ -198,7 +198,7 @@
 }
 
 // queue adds a waiting task.
-func (b *Board[O, J]) queue(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
+func (b *Scheduler[O, J]) queue(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
 	if r.Status.Final() {
 		return
 	}
@@ -219,7 +219,7 @@
 }
 
 // regroup moves waiting work to the pools that the configuration names now.
-func (b *Board[O, J]) regroup() {
+func (b *Scheduler[O, J]) regroup() {
 	for name, p := range b.pools {
 		kept := p.groups[:0]
 		for _, g := range p.groups {
@@ -243,7 +243,7 @@
 const rankPeriod clock.Millis = 100
 
 // arrange sorts the groups by rank and drops those without waiting tasks.
-func (b *Board[O, J]) arrange(p *pool, now clock.Millis) {
+func (b *Scheduler[O, J]) arrange(p *pool, now clock.Millis) {
 	fresh := now-p.ranked >= rankPeriod
 	if !fresh && p.sorted {
 		return
@@ -271,7 +271,7 @@
 }
 
 // release queues the occurrences that have fallen due.
-func (b *Board[O, J]) release(now clock.Millis) {
+func (b *Scheduler[O, J]) release(now clock.Millis) {
 	for b.later.Len() > 0 && b.later.Top().due <= now {
 		l := b.later.Pop()
 		if r := b.State.Jobs[l.job]; r != nil && !r.Status.Final() {
--- a/core/state/sched/pace.go
+++ b/core/state/sched/pace.go
@@ -39,7 +39,7 @@
 // setPace slows the filling tasks on a worker down while a serving task there
 // answers too slowly, and lets them speed up step by step once it does not. It
 // answers loads of serving tasks that change within seconds.
-func (b *Board[O, J]) setPace(w *worker, now clock.Millis) {
+func (b *Scheduler[O, J]) setPace(w *worker, now clock.Millis) {
 	worst, fillers := w.tails()
 	if fillers == 0 {
 		w.pace = pace{percent: fullPace}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -12,7 +12,7 @@
 // Pass decides what to do now. Orders may be sent once the plan's operations
 // are committed. Its cost follows what changed since the last one, not the size
 // of the fleet.
-func (b *Board[O, J]) Pass(now clock.Millis) Plan {
+func (b *Scheduler[O, J]) Pass(now clock.Millis) Plan {
 	b.now = max(b.now, now)
 	b.expire(now)
 	b.release(now)
@@ -30,7 +30,7 @@
 }
 
 // expire ends the runs of workers whose longest lease has ended.
-func (b *Board[O, J]) expire(now clock.Millis) {
+func (b *Scheduler[O, J]) expire(now clock.Millis) {
 	for b.leases.Len() > 0 && b.leases.Top().at < now {
 		w := b.leases.Pop().w
 		if b.workers[w.id] != w {
@@ -49,7 +49,7 @@
 }
 
 // watch stops tasks that make no progress, so that they start elsewhere.
-func (b *Board[O, J]) watch(w *worker, now clock.Millis) {
+func (b *Scheduler[O, J]) watch(w *worker, now clock.Millis) {
 	for _, r := range w.runs {
 		// A filler may stand still because others leave it no processor time.
 		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
@@ -64,7 +64,7 @@
 }
 
 // passPool starts waiting tasks on the present workers of a pool.
-func (b *Board[O, J]) passPool(p *pool, now clock.Millis) {
+func (b *Scheduler[O, J]) passPool(p *pool, now clock.Millis) {
 	if len(p.groups) == 0 || len(p.present) == 0 {
 		return
 	}
@@ -107,7 +107,7 @@
 }
 
 // start assigns a task to a worker; the order is part of the worker's answer.
-func (b *Board[O, J]) start(w *worker, g *group, t jobs.TaskID, now clock.Millis) {
+func (b *Scheduler[O, J]) start(w *worker, g *group, t jobs.TaskID, now clock.Millis) {
 	state := g.rec.Task(t)
 	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, started: now, moved: now, saved: state.Checkpoint}
 	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Incarnation: w.life}, now)
@@ -123,7 +123,7 @@
 
 // choose picks the worker for a task of a group. roomy tells that a worker had
 // room and was passed over for another reason.
-func (b *Board[O, J]) choose(p *pool, g *group, t jobs.TaskID, now clock.Millis) (best *worker, roomy bool) {
+func (b *Scheduler[O, J]) choose(p *pool, g *group, t jobs.TaskID, now clock.Millis) (best *worker, roomy bool) {
 	need := counted(g.step)
 	failed := b.failedOn[t]
 	var top score
@@ -144,12 +144,12 @@
 
 // may reports whether a present worker may run one more task of the group, room
 // aside.
-func (b *Board[O, J]) may(w *worker, g *group, now clock.Millis) bool {
+func (b *Scheduler[O, J]) may(w *worker, g *group, now clock.Millis) bool {
 	return w.beat != nil && b.takes(w, g, now) && b.allowed(w, g, now) && (g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker)
 }
 
 // takes reports whether a worker takes tasks like those of the group.
-func (b *Board[O, J]) takes(w *worker, g *group, now clock.Millis) bool {
+func (b *Scheduler[O, J]) takes(w *worker, g *group, now clock.Millis) bool {
 	if w.draining || w.held || w.leaving || w.parting || w.aside > now {
 		return false
 	}
@@ -191,7 +191,7 @@
 	return cmp.Or(cmp.Compare(t.together, s.together), cmp.Compare(t.free, s.free), cmp.Compare(t.id, s.id)) > 0
 }
 
-func (b *Board[O, J]) score(w *worker, g *group) score {
+func (b *Scheduler[O, J]) score(w *worker, g *group) score {
 	s := score{free: w.room.MilliCores - w.used.MilliCores, id: w.id}
 	s.near = g.step.DataRack != "" && g.step.DataRack == w.rack
 	if g.step.LongRunning {
@@ -211,7 +211,7 @@
 
 // together weighs the lasting tasks of the step that would be lost with the
 // worker or its rack, and the tasks that a filler would disturb.
-func (b *Board[O, J]) together(w *worker, g *group) int {
+func (b *Scheduler[O, J]) together(w *worker, g *group) int {
 	n := sameStepWeight * w.count(g.key)
 	if !w.serves() {
 		n += openWeight
@@ -230,7 +230,7 @@
 }
 
 // answer makes the answers to the heartbeats that are due.
-func (b *Board[O, J]) answer(now clock.Millis) {
+func (b *Scheduler[O, J]) answer(now clock.Millis) {
 	for b.answers.Len() > 0 && b.answers.Top().at <= now {
 		d := b.answers.Pop()
 		w := d.w
@@ -248,7 +248,7 @@
 
 // retry is the pause until a worker's next heartbeat: until shortly after the
 // next end that is expected, or short for a worker that waits for work.
-func (b *Board[O, J]) retry(w *worker, now clock.Millis) clock.Millis {
+func (b *Scheduler[O, J]) retry(w *worker, now clock.Millis) clock.Millis {
 	end, ok := w.nextEnd(now)
 	if !ok {
 		return b.set.RetryMillis
@@ -262,7 +262,7 @@
 }
 
 // wake is when the next pass is due.
-func (b *Board[O, J]) wake(now clock.Millis) clock.Millis {
+func (b *Scheduler[O, J]) wake(now clock.Millis) clock.Millis {
 	at := now + b.set.HoldMillis
 	if b.answers.Len() > 0 {
 		at = min(at, b.answers.Top().at)
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -84,7 +84,7 @@
 // those that are off, and idle ones of other pools. Machines that stay idle go
 // off. It answers loads that rise to several times their mean for seconds, by
 // turns, while a move takes about a second and a half.
-func (b *Board[O, J]) surge(now clock.Millis) {
+func (b *Scheduler[O, J]) surge(now clock.Millis) {
 	if b.set.SurgeMillis == 0 || now < b.fleet.next || now < b.began+b.set.QuietMillis {
 		return
 	}
@@ -118,7 +118,7 @@
 
 // worked reports whether work that ends was handed in. Before that a fleet that
 // has only started would be turned off just ahead of its first load.
-func (b *Board[O, J]) worked() bool {
+func (b *Scheduler[O, J]) worked() bool {
 	if !b.fleet.worked {
 		for _, r := range b.State.Jobs {
 			b.fleet.worked = b.fleet.worked || !lasting(&r.Job)
@@ -128,7 +128,7 @@
 }
 
 // noteLoads adds a line for each pool to the plan every few seconds.
-func (b *Board[O, J]) noteLoads(loads []*demand, now clock.Millis) {
+func (b *Scheduler[O, J]) noteLoads(loads []*demand, now clock.Millis) {
 	if now < b.fleet.noted+notePeriod {
 		return
 	}
@@ -157,7 +157,7 @@
 }
 
 // standbyPool names the pool whose machines are off; empty for none.
-func (b *Board[O, J]) standbyPool() jobs.PoolName {
+func (b *Scheduler[O, J]) standbyPool() jobs.PoolName {
 	for _, p := range b.State.Config.Pools {
 		if p.Standby {
 			return p.Name
@@ -168,7 +168,7 @@
 
 // list asks for the list of machines when it is old, and reports whether one
 // has come, or failed to come, in this term.
-func (b *Board[O, J]) list(now clock.Millis) bool {
+func (b *Scheduler[O, J]) list(now clock.Millis) bool {
 	f := &b.fleet
 	wait := listPeriod
 	if f.listed == 0 {
@@ -182,7 +182,7 @@
 }
 
 // machinesListed takes the list of machines.
-func (b *Board[O, J]) machinesListed(o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) machinesListed(o Outcome, now clock.Millis) {
 	f := &b.fleet
 	f.listing = false
 	if o.Answer != AnswerDone {
@@ -214,7 +214,7 @@
 
 // loads measures the pools that have queues, those with the most lacking
 // machines first.
-func (b *Board[O, J]) loads(now clock.Millis) []*demand {
+func (b *Scheduler[O, J]) loads(now clock.Millis) []*demand {
 	by := map[jobs.PoolName]*demand{}
 	for _, p := range b.State.Config.Pools {
 		if !p.Standby {
@@ -351,7 +351,7 @@
 
 // bring moves one machine to a pool: one that is off, or else the one that is
 // idle for longest in a pool with more than it needs.
-func (b *Board[O, J]) bring(d *demand, loads []*demand, now clock.Millis) bool {
+func (b *Scheduler[O, J]) bring(d *demand, loads []*demand, now clock.Millis) bool {
 	for _, m := range slices.Sorted(maps.Keys(b.fleet.standby)) {
 		if b.fleet.spent[m] <= now && !b.inWave(m) {
 			delete(b.fleet.standby, m)
@@ -381,7 +381,7 @@
 // part keeps new tasks off the machines of pools with more than they need, as
 // many as others lack: tasks of a second or two would otherwise keep each of
 // them a little busy for as long as the pool has any work.
-func (b *Board[O, J]) part(loads []*demand, lack int) {
+func (b *Scheduler[O, J]) part(loads []*demand, lack int) {
 	for i := len(loads) - 1; i >= 0; i-- {
 		d := loads[i]
 		spare := d.have - d.want - b.set.Reserve
@@ -397,7 +397,7 @@
 }
 
 // dismiss sends machines that stay idle to the standby pool.
-func (b *Board[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
+func (b *Scheduler[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
 	off := &demand{name: standby}
 	for _, d := range loads {
 		for _, w := range d.idle {
@@ -413,7 +413,7 @@
 
 // inWave reports whether a machine may be down for a wave; it is not moved
 // meanwhile.
-func (b *Board[O, J]) inWave(m jobs.MachineID) bool {
+func (b *Scheduler[O, J]) inWave(m jobs.MachineID) bool {
 	for _, v := range b.waves {
 		if _, away := v.away[m]; away || v.flying[m] {
 			return true
@@ -422,14 +422,14 @@
 	return false
 }
 
-func (b *Board[O, J]) move(m jobs.MachineID, life jobs.Incarnation, to *demand, now clock.Millis) {
+func (b *Scheduler[O, J]) move(m jobs.MachineID, life jobs.Incarnation, to *demand, now clock.Millis) {
 	to.have++
 	b.fleet.moves[m] = move{to: to.name, life: life, at: now}
 	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
 }
 
 // moved takes the platform's answer to a move.
-func (b *Board[O, J]) moved(a Action, o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) moved(a Action, o Outcome, now clock.Millis) {
 	v, ok := b.fleet.moves[a.Machine]
 	if !ok || v.to != a.Pool {
 		return
@@ -462,7 +462,7 @@
 }
 
 // arrived notes that a moved machine has a worker again.
-func (b *Board[O, J]) arrived(w *worker) {
+func (b *Scheduler[O, J]) arrived(w *worker) {
 	if v, ok := b.fleet.moves[w.machine]; ok && v.life != w.life && v.to == w.pool {
 		delete(b.fleet.moves, w.machine)
 	}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -57,7 +57,7 @@
 }
 
 // DeclareWave accepts a wave. A number that is known is left as it is.
-func (b *Board[O, J]) DeclareWave(w jobs.Wave, now clock.Millis) {
+func (b *Scheduler[O, J]) DeclareWave(w jobs.Wave, now clock.Millis) {
 	if b.State.Waves[w.Number] != nil {
 		return
 	}
@@ -70,7 +70,7 @@
 
 // maintain orders the maintenance of machines of the waves, at most the cap of
 // each at a time, and keeps new work off the machines that come next.
-func (b *Board[O, J]) maintain(now clock.Millis) {
+func (b *Scheduler[O, J]) maintain(now clock.Millis) {
 	if now < b.upkeep {
 		return
 	}
@@ -88,7 +88,7 @@
 // returned forgets the absence of machines whose worker has a new life. One
 // without a known worker, such as a machine that is off, has none to come back;
 // the time that a maintenance takes bounds its absence.
-func (b *Board[O, J]) returned(v *wave, now clock.Millis) {
+func (b *Scheduler[O, J]) returned(v *wave, now clock.Millis) {
 	for m, a := range v.away {
 		if v.flying[m] {
 			continue
@@ -108,7 +108,7 @@
 
 // stay gives tasks again to a worker whose machine was ordered away and is still
 // there after the time that this takes: the order was not carried out.
-func (b *Board[O, J]) stay(w *worker, life jobs.Incarnation) {
+func (b *Scheduler[O, J]) stay(w *worker, life jobs.Incarnation) {
 	if w != nil && w.life == life && w.leaving {
 		w.leaving = false
 		b.dirty[b.pool(w.pool)] = true
@@ -118,7 +118,7 @@
 // advance gives the orders that the cap allows. No more machines are down at a
 // time than the deadline calls for, and those of pools without waiting work go
 // first, so that a wave takes little room while a pool needs it.
-func (b *Board[O, J]) advance(v *wave, now clock.Millis) {
+func (b *Scheduler[O, J]) advance(v *wave, now clock.Millis) {
 	var left []jobs.MachineID
 	for _, m := range v.Machines {
 		if !v.Started[m] && !v.flying[m] {
@@ -159,7 +159,7 @@
 
 // pace is the number of machines that have to be down at a time for the wave
 // to end in time.
-func (b *Board[O, J]) pace(v *wave, now clock.Millis) int {
+func (b *Scheduler[O, J]) pace(v *wave, now clock.Millis) int {
 	left := clock.Millis(len(v.Machines) - len(v.Started))
 	each := b.set.DownMillis + b.set.HoldMillis
 	time := max(v.Deadline-marginMillis-now, each)
@@ -168,7 +168,7 @@
 
 // burden orders machines for maintenance; small goes first: a machine without
 // a worker, then those of pools without waiting work that run little.
-func (b *Board[O, J]) burden(m jobs.MachineID) int {
+func (b *Scheduler[O, J]) burden(m jobs.MachineID) int {
 	w := b.machines[m]
 	if w == nil {
 		return -1
@@ -197,7 +197,7 @@
 // clear reports whether a machine may go down now: what ends by itself has
 // ended, or the wave is short of time, and no lasting step loses more tasks
 // than it may.
-func (b *Board[O, J]) clear(v *wave, w *worker, now clock.Millis) bool {
+func (b *Scheduler[O, J]) clear(v *wave, w *worker, now clock.Millis) bool {
 	if w == nil {
 		return true
 	}
@@ -235,7 +235,7 @@
 
 // thin stops one of several tasks of a lasting step on a worker, which together
 // are more than may be away, so that it starts on another worker first.
-func (b *Board[O, J]) thin(w *worker, k groupKey, n int) {
+func (b *Scheduler[O, J]) thin(w *worker, k groupKey, n int) {
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		if keyOf(id) == k && r.listed && !r.stopping {
@@ -249,7 +249,7 @@
 func (r *run) atWork() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
 // missing counts the tasks of a lasting step that are not at work.
-func (b *Board[O, J]) missing(rec *jobs.Record, k groupKey) int {
+func (b *Scheduler[O, J]) missing(rec *jobs.Record, k groupKey) int {
 	n := 0
 	for i, t := range rec.Occurrences[k.occurrence].Steps[k.step].Tasks {
 		w := b.workers[t.Worker]
@@ -267,12 +267,12 @@
 
 // late reports whether the rest of a wave does not fit the time left unless
 // running tasks are ended.
-func (b *Board[O, J]) late(v *wave, now clock.Millis) bool {
+func (b *Scheduler[O, J]) late(v *wave, now clock.Millis) bool {
 	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
 	return now+clock.Millis(rounds)*(b.set.DownMillis+b.set.HoldMillis) > v.Deadline
 }
 
-func (b *Board[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
+func (b *Scheduler[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
 	v.repeated[m] = v.Ordered[m]
 	if !v.Ordered[m] {
 		b.apply(jobs.Op{Kind: jobs.OpMaintenanceOrdered, WaveNumber: v.Number, Machine: m}, now)
@@ -297,7 +297,7 @@
 
 // noteOrder explains an order: what ends with the machine, and how many tasks of
 // each lasting step are away beside them.
-func (b *Board[O, J]) noteOrder(v *wave, m jobs.MachineID, w *worker) {
+func (b *Scheduler[O, J]) noteOrder(v *wave, m jobs.MachineID, w *worker) {
 	reason := fmt.Sprintf("machine %s for wave %d, %d of it down or on their way", m, v.Number, len(v.away))
 	if w != nil {
 		for _, t := range sortedTasks(w.runs) {
@@ -337,7 +337,7 @@
 }
 
 // HandleOutcome takes the platform's answer to an action.
-func (b *Board[O, J]) HandleOutcome(a Action, o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) HandleOutcome(a Action, o Outcome, now clock.Millis) {
 	switch a.Kind {
 	case ActionMaintain:
 		b.maintained(a, o, now)
@@ -350,7 +350,7 @@
 	}
 }
 
-func (b *Board[O, J]) maintained(o Action, out Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) maintained(o Action, out Outcome, now clock.Millis) {
 	v := b.waves[o.Wave]
 	if v == nil {
 		return
@@ -391,7 +391,7 @@
 
 // dropMissing takes machines that do not exist any more off the waves: none of
 // them stays to be maintained.
-func (b *Board[O, J]) dropMissing(listed map[jobs.MachineID]bool, now clock.Millis) {
+func (b *Scheduler[O, J]) dropMissing(listed map[jobs.MachineID]bool, now clock.Millis) {
 	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
 		v := b.waves[n]
 		clear(v.refused)
@@ -407,7 +407,7 @@
 }
 
 // maintenanceDue is when the waves have to be looked at again.
-func (b *Board[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
+func (b *Scheduler[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range b.waves {
 		if !v.Completed() {
 			return max(b.upkeep, b.began+b.set.QuietMillis), true
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -19,7 +19,7 @@
 	worldAttempts              = 3
 )
 
-type testBoard = Board[EarliestDeadline, place.PeerComparison]
+type testBoard = Scheduler[EarliestDeadline, place.PeerComparison]
 
 // leader is a process that leads or believes to. Its board is ahead of the
 // committed state until its operations are committed.
