--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -83,12 +83,12 @@
 	Queue      jobs.QueueName
 	Status     jobs.Status
 	AcceptedAt clock.Millis
-	// OnTime is the latest end at which the job is on time.
-	OnTime clock.Millis
+	// Deadline is the latest end at which the job is on time.
+	Deadline clock.Millis
 }
 
 func lineOf(r *jobs.Record) JobLine {
-	return JobLine{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, OnTime: Deadline(r, len(r.Occurrences)-1)}
+	return JobLine{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, Deadline: Deadline(r, len(r.Occurrences)-1)}
 }
 
 // List returns the jobs that have not ended, the oldest first and at most a
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -78,7 +78,7 @@
 
 func jobLineToWire(l sched.JobLine) *wirepb.JobLine {
 	return &wirepb.JobLine{
-		Id: text(l.ID), Queue: text(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.OnTime),
+		Id: text(l.ID), Queue: text(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.Deadline),
 	}
 }
 
@@ -86,7 +86,7 @@
 	status, err := enum("job", "status", w.GetStatus(), jobs.StatusCancelled)
 	return sched.JobLine{
 		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Status: status,
-		AcceptedAt: clock.Millis(w.GetAcceptedMs()), OnTime: clock.Millis(w.GetOnTimeMs()),
+		AcceptedAt: clock.Millis(w.GetAcceptedMs()), Deadline: clock.Millis(w.GetOnTimeMs()),
 	}, err
 }
 
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/work_test.go
@@ -24,7 +24,7 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, c, cmpopts.EquateEmpty())
 	}
-	line := sched.JobLine{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, OnTime: 9}
+	line := sched.JobLine{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
 	for _, a := range []runner.Answer{
 		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
 		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobLine{line}},
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -38,7 +38,7 @@
 	return render(w, "report jobs", f, func() string {
 		t := newTable("ID", "QUEUE", "STATUS", "ACCEPTED", "ON-TIME-UNTIL")
 		for _, l := range lines {
-			t.add(l.ID, l.Queue, l.Status, timeText(l.AcceptedAt), timeText(l.OnTime))
+			t.add(l.ID, l.Queue, l.Status, timeText(l.AcceptedAt), timeText(l.Deadline))
 		}
 		return t.String() + fmt.Sprintf("%d shown, %d not ended in all queues\n", len(lines), total)
 	}, func() any {
@@ -48,7 +48,7 @@
 
 func jobLineObject(l sched.JobLine) object {
 	return object{
-		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.AcceptedAt}, {"on-time-until-ms", l.OnTime},
+		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.AcceptedAt}, {"on-time-until-ms", l.Deadline},
 	}
 }
 
@@ -61,7 +61,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s of queue %s is %s at %s\n", clean(string(r.ID)), clean(string(r.Queue)), r.Status, timeText(r.Now))
 	fmt.Fprintf(&b, "accepted %s, on time until %s, ended %s, runs in pool %s\n",
-		timeText(r.AcceptedAt), timeText(r.OnTime), timeText(r.Ended), clean(string(r.Pool)))
+		timeText(r.AcceptedAt), timeText(r.Deadline), timeText(r.Ended), clean(string(r.Pool)))
 	steps := newTable("OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "RUNS", "FAILED", "WAITS-FOR")
 	var why []string
 	for _, s := range r.Steps {
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -100,7 +100,7 @@
 
 func job() sched.JobReport {
 	return sched.JobReport{
-		JobLine: sched.JobLine{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, AcceptedAt: start - 4000, OnTime: start + 2500},
+		JobLine: sched.JobLine{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, AcceptedAt: start - 4000, Deadline: start + 2500},
 		Pool:    "log", Now: start,
 		Steps: []sched.StepReport{
 			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Fails: 1, Limit: sched.LimitRoom},
