--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -156,7 +156,7 @@
 	Count int
 	// Report answers CallExplain, and Jobs CallList.
 	Report *sched.JobReport
-	Jobs   []sched.JobLine
+	Jobs   []sched.JobSummary
 	// ConfigDocument and Version answer CallConfig.
 	ConfigDocument []byte
 	ConfigVersion  uint64
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -68,7 +68,7 @@
 
 // JobReport says how far a job is and what it waits for.
 type JobReport struct {
-	JobLine
+	JobSummary
 	Pool jobs.PoolName
 	Now  clock.Millis
 	// Ended is the time of the final status; 0 before.
@@ -77,8 +77,8 @@
 	Runs  []RunReport
 }
 
-// JobLine is a job in a list.
-type JobLine struct {
+// JobSummary is a job in a list.
+type JobSummary struct {
 	ID         jobs.ID
 	Queue      jobs.QueueName
 	Status     jobs.Status
@@ -87,13 +87,13 @@
 	Deadline clock.Millis
 }
 
-func lineOf(r *jobs.Record) JobLine {
-	return JobLine{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, Deadline: Deadline(r, len(r.Occurrences)-1)}
+func lineOf(r *jobs.Record) JobSummary {
+	return JobSummary{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, Deadline: Deadline(r, len(r.Occurrences)-1)}
 }
 
 // List returns the jobs that have not ended, the oldest first and at most a
 // number of them, and how many there are.
-func (b *Scheduler[O, J]) List(most int) (lines []JobLine, total int) {
+func (b *Scheduler[O, J]) List(most int) (lines []JobSummary, total int) {
 	var open []*jobs.Record
 	for _, r := range b.State.Jobs {
 		if !r.Status.Final() {
@@ -113,7 +113,7 @@
 	if r == nil {
 		return JobReport{}, false
 	}
-	x := JobReport{JobLine: lineOf(r), Pool: b.poolOf(r), Now: now, Ended: r.EndedAt}
+	x := JobReport{JobSummary: lineOf(r), Pool: b.poolOf(r), Now: now, Ended: r.EndedAt}
 	for k := range r.Occurrences {
 		for i := range r.Steps {
 			x.Steps = append(x.Steps, b.explainStep(r, k, i, now))
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -76,15 +76,15 @@
 	return a, nil
 }
 
-func jobLineToWire(l sched.JobLine) *wirepb.JobLine {
+func jobLineToWire(l sched.JobSummary) *wirepb.JobLine {
 	return &wirepb.JobLine{
 		Id: text(l.ID), Queue: text(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.Deadline),
 	}
 }
 
-func jobLineFromWire(w *wirepb.JobLine) (sched.JobLine, error) {
+func jobLineFromWire(w *wirepb.JobLine) (sched.JobSummary, error) {
 	status, err := enum("job", "status", w.GetStatus(), jobs.StatusCancelled)
-	return sched.JobLine{
+	return sched.JobSummary{
 		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Status: status,
 		AcceptedAt: clock.Millis(w.GetAcceptedMs()), Deadline: clock.Millis(w.GetOnTimeMs()),
 	}, err
@@ -92,7 +92,7 @@
 
 func jobReportToWire(r sched.JobReport) *wirepb.JobReport {
 	return &wirepb.JobReport{
-		Job: jobLineToWire(r.JobLine), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.Ended),
+		Job: jobLineToWire(r.JobSummary), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.Ended),
 		Steps: list(r.Steps, func(s sched.StepReport) *wirepb.JobStepReport {
 			return &wirepb.JobStepReport{
 				Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done),
@@ -114,7 +114,7 @@
 		return sched.JobReport{}, err
 	}
 	r := sched.JobReport{
-		JobLine: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), Ended: clock.Millis(w.GetEndedMs()),
+		JobSummary: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), Ended: clock.Millis(w.GetEndedMs()),
 	}
 	for _, s := range w.GetSteps() {
 		r.Steps = append(r.Steps, sched.StepReport{
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/work_test.go
@@ -24,12 +24,12 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, c, cmpopts.EquateEmpty())
 	}
-	line := sched.JobLine{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
+	line := sched.JobSummary{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
 	for _, a := range []runner.Answer{
 		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
-		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobLine{line}},
+		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{line}},
 		{Report: &sched.JobReport{
-			JobLine: line, Pool: "p", Now: 7, Ended: 6,
+			JobSummary: line, Pool: "p", Now: 7, Ended: 6,
 			Steps: []sched.StepReport{{
 				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Fails: 1, Limit: sched.LimitRoom,
 			}},
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -34,7 +34,7 @@
 
 // Jobs writes a list of jobs that have not ended, which may be a part of all of
 // them.
-func Jobs(w io.Writer, f Format, lines []sched.JobLine, total int) error {
+func Jobs(w io.Writer, f Format, lines []sched.JobSummary, total int) error {
 	return render(w, "report jobs", f, func() string {
 		t := newTable("ID", "QUEUE", "STATUS", "ACCEPTED", "ON-TIME-UNTIL")
 		for _, l := range lines {
@@ -46,7 +46,7 @@
 	})
 }
 
-func jobLineObject(l sched.JobLine) object {
+func jobLineObject(l sched.JobSummary) object {
 	return object{
 		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.AcceptedAt}, {"on-time-until-ms", l.Deadline},
 	}
@@ -90,7 +90,7 @@
 }
 
 func jobObject(r sched.JobReport) object {
-	return append(jobLineObject(r.JobLine), object{
+	return append(jobLineObject(r.JobSummary), object{
 		{"pool", r.Pool},
 		{"now-ms", r.Now},
 		{"ended-ms", r.Ended},
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -100,8 +100,8 @@
 
 func job() sched.JobReport {
 	return sched.JobReport{
-		JobLine: sched.JobLine{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, AcceptedAt: start - 4000, Deadline: start + 2500},
-		Pool:    "log", Now: start,
+		JobSummary: sched.JobSummary{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, AcceptedAt: start - 4000, Deadline: start + 2500},
+		Pool:       "log", Now: start,
 		Steps: []sched.StepReport{
 			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Fails: 1, Limit: sched.LimitRoom},
 			{Step: 1, Tasks: 2, Waiting: 2, Limit: sched.LimitSteps},
@@ -136,7 +136,7 @@
 		"job":         func(w io.Writer, f report.Format) error { return report.Job(w, f, job()) },
 		"job-status":  func(w io.Writer, f report.Format) error { return report.JobStatus(w, f, "j-1", jobs.StatusRunning) },
 		"jobs": func(w io.Writer, f report.Format) error {
-			return report.Jobs(w, f, []sched.JobLine{job().JobLine, {ID: "j-2", Queue: "q", AcceptedAt: start}}, 7)
+			return report.Jobs(w, f, []sched.JobSummary{job().JobSummary, {ID: "j-2", Queue: "q", AcceptedAt: start}}, 7)
 		},
 		"unknown": explain(trail.ExplainRequest(o, events(), "r-9")),
 	}
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -58,7 +58,7 @@
 	return work(o, "job list", runner.Call{Kind: runner.CallList}, func(a runner.Answer) error {
 		lines := a.Jobs
 		if o.queue != "" {
-			lines = slices.DeleteFunc(lines, func(l sched.JobLine) bool { return l.Queue != jobs.QueueName(o.queue) })
+			lines = slices.DeleteFunc(lines, func(l sched.JobSummary) bool { return l.Queue != jobs.QueueName(o.queue) })
 		}
 		return report.Jobs(out, o.format(), lines, a.Count)
 	})
