--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -71,10 +71,10 @@
 	JobSummary
 	Pool jobs.PoolName
 	Now  clock.Millis
-	// Ended is the time of the final status; 0 before.
-	Ended clock.Millis
-	Steps []StepReport
-	Runs  []RunReport
+	// EndedAt is the time of the final status; 0 before.
+	EndedAt clock.Millis
+	Steps   []StepReport
+	Runs    []RunReport
 }
 
 // JobSummary is a job in a list.
@@ -113,7 +113,7 @@
 	if r == nil {
 		return JobReport{}, false
 	}
-	x := JobReport{JobSummary: lineOf(r), Pool: b.poolOf(r), Now: now, Ended: r.EndedAt}
+	x := JobReport{JobSummary: lineOf(r), Pool: b.poolOf(r), Now: now, EndedAt: r.EndedAt}
 	for k := range r.Occurrences {
 		for i := range r.Steps {
 			x.Steps = append(x.Steps, b.explainStep(r, k, i, now))
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -92,7 +92,7 @@
 
 func jobReportToWire(r sched.JobReport) *wirepb.JobReport {
 	return &wirepb.JobReport{
-		Job: jobLineToWire(r.JobSummary), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.Ended),
+		Job: jobLineToWire(r.JobSummary), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.EndedAt),
 		Steps: list(r.Steps, func(s sched.StepReport) *wirepb.JobStepReport {
 			return &wirepb.JobStepReport{
 				Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done),
@@ -114,7 +114,7 @@
 		return sched.JobReport{}, err
 	}
 	r := sched.JobReport{
-		JobSummary: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), Ended: clock.Millis(w.GetEndedMs()),
+		JobSummary: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), EndedAt: clock.Millis(w.GetEndedMs()),
 	}
 	for _, s := range w.GetSteps() {
 		r.Steps = append(r.Steps, sched.StepReport{
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/work_test.go
@@ -29,7 +29,7 @@
 		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
 		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{line}},
 		{Report: &sched.JobReport{
-			JobSummary: line, Pool: "p", Now: 7, Ended: 6,
+			JobSummary: line, Pool: "p", Now: 7, EndedAt: 6,
 			Steps: []sched.StepReport{{
 				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Fails: 1, Limit: sched.LimitRoom,
 			}},
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -61,7 +61,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s of queue %s is %s at %s\n", clean(string(r.ID)), clean(string(r.Queue)), r.Status, timeText(r.Now))
 	fmt.Fprintf(&b, "accepted %s, on time until %s, ended %s, runs in pool %s\n",
-		timeText(r.AcceptedAt), timeText(r.Deadline), timeText(r.Ended), clean(string(r.Pool)))
+		timeText(r.AcceptedAt), timeText(r.Deadline), timeText(r.EndedAt), clean(string(r.Pool)))
 	steps := newTable("OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "RUNS", "FAILED", "WAITS-FOR")
 	var why []string
 	for _, s := range r.Steps {
@@ -93,7 +93,7 @@
 	return append(jobLineObject(r.JobSummary), object{
 		{"pool", r.Pool},
 		{"now-ms", r.Now},
-		{"ended-ms", r.Ended},
+		{"ended-ms", r.EndedAt},
 		{"steps", list(r.Steps, func(s sched.StepReport) object {
 			return object{
 				{"occurrence", s.Occurrence},
