--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -73,7 +73,7 @@
 	section(&b, "Steps", steps)
 	runs := newTable("OCCURRENCE", "STEP", "INDEX", "RUN", "WORKER", "PERCENT", "SINCE", "STOPPING")
 	for _, x := range r.Runs {
-		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.Started), x.Stopping)
+		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.StartedAt), x.Stopping)
 	}
 	section(&b, "Running", runs)
 	if len(why) > 0 {
@@ -115,7 +115,7 @@
 				{"run", x.Run},
 				{"worker", x.Worker},
 				{"percent", x.Percent},
-				{"started-ms", x.Started},
+				{"started-ms", x.StartedAt},
 				{"stopping", x.Stopping},
 			}
 		})},
