--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -58,12 +58,12 @@
 
 // RunReport is a task that is assigned to a worker.
 type RunReport struct {
-	Task      jobs.TaskID
-	Run       int
-	Worker    jobs.WorkerID
-	Percent   int
-	StartedAt clock.Millis
-	Stopping  string
+	Task       jobs.TaskID
+	Run        int
+	Worker     jobs.WorkerID
+	Percent    int
+	StartedAt  clock.Millis
+	StopReason string
 }
 
 // JobReport says how far a job is and what it waits for.
@@ -122,7 +122,7 @@
 	for t, state := range r.Tasks() {
 		if w, run := b.assigned(t, state); run != nil {
 			x.Runs = append(x.Runs, RunReport{
-				Task: t, Run: run.number, Worker: w.id, Percent: run.percent, StartedAt: run.started, Stopping: run.why,
+				Task: t, Run: run.number, Worker: w.id, Percent: run.percent, StartedAt: run.started, StopReason: run.why,
 			})
 		}
 	}
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -102,7 +102,7 @@
 		Runs: list(r.Runs, func(x sched.RunReport) *wirepb.JobRunReport {
 			return &wirepb.JobRunReport{
 				Task: taskToWire(x.Task), Run: int64(x.Run), Worker: text(x.Worker), Percent: int64(x.Percent),
-				StartedMs: int64(x.StartedAt), Stopping: text(x.Stopping),
+				StartedMs: int64(x.StartedAt), Stopping: text(x.StopReason),
 			}
 		}),
 	}
@@ -126,7 +126,7 @@
 	for _, x := range w.GetRuns() {
 		r.Runs = append(r.Runs, sched.RunReport{
 			Task: taskFromWire(x.GetTask()), Run: int(x.GetRun()), Worker: jobs.WorkerID(x.GetWorker()), Percent: int(x.GetPercent()),
-			StartedAt: clock.Millis(x.GetStartedMs()), Stopping: x.GetStopping(),
+			StartedAt: clock.Millis(x.GetStartedMs()), StopReason: x.GetStopping(),
 		})
 	}
 	return r, nil
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -73,7 +73,7 @@
 	section(&b, "Steps", steps)
 	runs := newTable("OCCURRENCE", "STEP", "INDEX", "RUN", "WORKER", "PERCENT", "SINCE", "STOPPING")
 	for _, x := range r.Runs {
-		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.StartedAt), x.Stopping)
+		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.StartedAt), x.StopReason)
 	}
 	section(&b, "Running", runs)
 	if len(why) > 0 {
@@ -116,7 +116,7 @@
 				{"worker", x.Worker},
 				{"percent", x.Percent},
 				{"started-ms", x.StartedAt},
-				{"stopping", x.Stopping},
+				{"stopping", x.StopReason},
 			}
 		})},
 	}...)
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -107,7 +107,7 @@
 			{Step: 1, Tasks: 2, Waiting: 2, Limit: sched.LimitSteps},
 		},
 		Runs: []sched.RunReport{{
-			Task: jobs.TaskID{Job: "j-1", Index: 2}, Run: 2, Worker: "i-7", Percent: 40, StartedAt: start - 700, Stopping: "it makes no progress",
+			Task: jobs.TaskID{Job: "j-1", Index: 2}, Run: 2, Worker: "i-7", Percent: 40, StartedAt: start - 700, StopReason: "it makes no progress",
 		}},
 	}
 }
