--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -50,8 +50,8 @@
 	Running    int
 	Waiting    int
 	// Runs counts the starts of all tasks, and Fails the failed ones.
-	Runs  int
-	Fails int
+	Runs     int
+	Failures int
 	// Limit binds the waiting tasks.
 	Limit Limit
 }
@@ -131,7 +131,7 @@
 
 func (b *Scheduler[O, J]) explainStep(r *jobs.Record, k, i int, now clock.Millis) StepReport {
 	st := &r.Occurrences[k].Steps[i]
-	x := StepReport{Occurrence: k, Step: i, Tasks: len(st.Tasks), Done: st.DoneTasks, Fails: r.Failures(k, i)}
+	x := StepReport{Occurrence: k, Step: i, Tasks: len(st.Tasks), Done: st.DoneTasks, Failures: r.Failures(k, i)}
 	for _, t := range st.Tasks {
 		x.Runs += t.Run
 		switch t.Phase {
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -121,7 +121,7 @@
 	}
 	assert.Equal(t, r.State.Jobs["g"].Status, jobs.StatusFailed)
 	x, _ := r.Explain("g", r.now)
-	assert.Equal(t, x.Steps[0].Fails, 2)
+	assert.Equal(t, x.Steps[0].Failures, 2)
 }
 
 // TestSmallWorkLeavesRoomForGang plays a full pool with small tasks that never
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -65,7 +65,7 @@
 	steps := newTable("OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "RUNS", "FAILED", "WAITS-FOR")
 	var why []string
 	for _, s := range r.Steps {
-		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Fails, s.Limit)
+		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.Limit)
 		if s.Limit != sched.LimitNone {
 			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.Limit)))
 		}
@@ -103,7 +103,7 @@
 				{"running", s.Running},
 				{"waiting", s.Waiting},
 				{"runs", s.Runs},
-				{"failed", s.Fails},
+				{"failed", s.Failures},
 				{"waits-for", s.Limit},
 			}
 		})},
