--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -73,11 +73,11 @@
 
 // Announce takes in an announcement from an upstream itself.
 func (d *Dispatcher[P, Q, L]) Announce(a model.Announcement) error {
-	return d.Hear(member.Heard{Announcement: a, Direct: true})
+	return d.ReceiveAnnouncement(member.Heard{Announcement: a, Direct: true})
 }
 
-// Hear takes in an announcement from an upstream or from a neighbour.
-func (d *Dispatcher[P, Q, L]) Hear(h member.Heard) error {
+// ReceiveAnnouncement takes in an announcement from an upstream or from a neighbour.
+func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(h member.Heard) error {
 	return d.call(&command{op: opHear, heard: h}).err
 }
 
