--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -81,9 +81,9 @@
 	return d.call(&command{op: opHear, heard: h}).err
 }
 
-// News returns what upstreams themselves announced after a sequence number,
+// AnnouncementsSince returns what upstreams themselves announced after a sequence number,
 // for the neighbours, and the number to ask from next.
-func (d *Dispatcher[P, Q, L]) News(since uint64) ([]member.Heard, uint64) {
+func (d *Dispatcher[P, Q, L]) AnnouncementsSince(since uint64) ([]member.Heard, uint64) {
 	c := d.call(&command{op: opNews, since: since})
 	return c.news, c.since
 }
