--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -73,17 +73,17 @@
 
 // Announce takes in an announcement from an upstream itself.
 func (d *Dispatcher[P, Q, L]) Announce(a model.Announcement) error {
-	return d.ReceiveAnnouncement(member.Heard{Announcement: a, Direct: true})
+	return d.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a, Direct: true})
 }
 
 // ReceiveAnnouncement takes in an announcement from an upstream or from a neighbour.
-func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(h member.Heard) error {
+func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(h member.ReceivedAnnouncement) error {
 	return d.call(&command{op: opHear, heard: h}).err
 }
 
 // AnnouncementsSince returns what upstreams themselves announced after a sequence number,
 // for the neighbours, and the number to ask from next.
-func (d *Dispatcher[P, Q, L]) AnnouncementsSince(since uint64) ([]member.Heard, uint64) {
+func (d *Dispatcher[P, Q, L]) AnnouncementsSince(since uint64) ([]member.ReceivedAnnouncement, uint64) {
 	c := d.call(&command{op: opNews, since: since})
 	return c.news, c.since
 }
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -31,9 +31,9 @@
 type command struct {
 	op     opKind
 	delta  model.Delta
-	heard  member.Heard
+	heard  member.ReceivedAnnouncement
 	since  uint64
-	news   []member.Heard
+	news   []member.ReceivedAnnouncement
 	status Status
 	table  model.Table
 	err    error
@@ -221,7 +221,7 @@
 	return slices.Min(slices.Collect(maps.Keys(d.slots[p])))
 }
 
-func (d *Dispatcher[P, Q, L]) hear(now clock.Millis, h member.Heard) error {
+func (d *Dispatcher[P, Q, L]) hear(now clock.Millis, h member.ReceivedAnnouncement) error {
 	before, known := d.roster.Get(h.Announcement.Instance)
 	changed, err := d.roster.Accept(now, h)
 	if err != nil {
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -19,31 +19,33 @@
 	}
 }
 
-func direct(a model.Announcement) Heard { return Heard{Announcement: a, Direct: true} }
+func direct(a model.Announcement) ReceivedAnnouncement {
+	return ReceivedAnnouncement{Announcement: a, Direct: true}
+}
 
 // Guards against announcements that contradict what is known being taken in.
 func TestAcceptRules(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		change func(h *Heard)
+		change func(h *ReceivedAnnouncement)
 		kind   Kind
 		ok     bool
 	}{
-		{"again", func(*Heard) {}, 0, true},
-		{"leaving", func(h *Heard) { h.Announcement.State = model.AnnounceLeaving }, 0, true},
-		{"lower incarnation", func(h *Heard) { h.Announcement.Incarnation = 4 }, KindIncarnation, false},
-		{"other pool", func(h *Heard) { h.Announcement.Pool = "q" }, KindPool, false},
-		{"other address", func(h *Heard) { h.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
-		{"restarted elsewhere", func(h *Heard) {
+		{"again", func(*ReceivedAnnouncement) {}, 0, true},
+		{"leaving", func(h *ReceivedAnnouncement) { h.Announcement.State = model.AnnounceLeaving }, 0, true},
+		{"lower incarnation", func(h *ReceivedAnnouncement) { h.Announcement.Incarnation = 4 }, KindIncarnation, false},
+		{"other pool", func(h *ReceivedAnnouncement) { h.Announcement.Pool = "q" }, KindPool, false},
+		{"other address", func(h *ReceivedAnnouncement) { h.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
+		{"restarted elsewhere", func(h *ReceivedAnnouncement) {
 			h.Announcement.Incarnation, h.Announcement.Pool, h.Announcement.Address = 6, "q", "10.0.0.9:9"
 		}, 0, true},
-		{"address of another", func(h *Heard) { h.Announcement.Instance = "b" }, KindAddress, false},
-		{"other zone", func(h *Heard) { h.Announcement.Zone = "y" }, KindZone, false},
-		{"no slots", func(h *Heard) { h.Announcement.Slots = 0 }, KindInvalid, false},
-		{"no incarnation", func(h *Heard) { h.Announcement.Incarnation = 0 }, KindInvalid, false},
-		{"no pool", func(h *Heard) { h.Announcement.Pool = "" }, KindInvalid, false},
-		{"unknown state", func(h *Heard) { h.Announcement.State = 7 }, KindInvalid, false},
-		{"too old", func(h *Heard) { h.Age = DefaultLease }, KindStale, false},
+		{"address of another", func(h *ReceivedAnnouncement) { h.Announcement.Instance = "b" }, KindAddress, false},
+		{"other zone", func(h *ReceivedAnnouncement) { h.Announcement.Zone = "y" }, KindZone, false},
+		{"no slots", func(h *ReceivedAnnouncement) { h.Announcement.Slots = 0 }, KindInvalid, false},
+		{"no incarnation", func(h *ReceivedAnnouncement) { h.Announcement.Incarnation = 0 }, KindInvalid, false},
+		{"no pool", func(h *ReceivedAnnouncement) { h.Announcement.Pool = "" }, KindInvalid, false},
+		{"unknown state", func(h *ReceivedAnnouncement) { h.Announcement.State = 7 }, KindInvalid, false},
+		{"too old", func(h *ReceivedAnnouncement) { h.Age = DefaultLease }, KindStale, false},
 	} {
 		r := New(Settings{Zone: "z"}, 0)
 		_, err := r.Accept(0, direct(announcement("a", 5)))
@@ -72,7 +74,7 @@
 	a.State = model.AnnounceLeaving
 	_, err := r.Accept(0, direct(a))
 	assert.NilError(t, err)
-	_, err = r.Accept(1, Heard{Announcement: announcement("a", 1), Age: 500})
+	_, err = r.Accept(1, ReceivedAnnouncement{Announcement: announcement("a", 1), Age: 500})
 	assert.ErrorContains(t, err, "leaving")
 	_, err = r.Accept(2, direct(announcement("a", 2)))
 	assert.NilError(t, err)
@@ -101,7 +103,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"announce": func(t *rapid.T) {
 				a := announcement(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
-				h := Heard{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
+				h := ReceivedAnnouncement{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
 				_, err := r.Accept(now, h)
 				allowed := h.Age < lease && a.Incarnation >= incarnation[a.Instance]
 				assert.Equal(t, err == nil, allowed, "%v", err)
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -46,8 +46,8 @@
 // Live reports whether the lease holds at a time.
 func (r *Record) Live(now clock.Millis) bool { return r.Expires > now }
 
-// Heard is an announcement with the way it took.
-type Heard struct {
+// ReceivedAnnouncement is an announcement with the way it took.
+type ReceivedAnnouncement struct {
 	Announcement model.Announcement
 	// Age is the time since the upstream sent it, as far as known.
 	Age clock.Millis
@@ -110,7 +110,7 @@
 
 // Accept takes an announcement in, or returns why not. changed reports whether
 // anything but the lease differs from before.
-func (t *Roster) Accept(now clock.Millis, h Heard) (changed bool, err error) {
+func (t *Roster) Accept(now clock.Millis, h ReceivedAnnouncement) (changed bool, err error) {
 	t.Observe(now)
 	if e := t.check(now, h); e != nil {
 		return false, e
@@ -142,7 +142,7 @@
 	return changed, nil
 }
 
-func (t *Roster) check(now clock.Millis, h Heard) *Error {
+func (t *Roster) check(now clock.Millis, h ReceivedAnnouncement) *Error {
 	a := h.Announcement
 	if e := validate(a, t.cfg.Zone); e != nil {
 		return e
@@ -231,10 +231,10 @@
 // News returns what was heard from upstreams themselves after a sequence
 // number, for the neighbours, and the number to ask from next. Its cost
 // follows the number of news.
-func (t *Roster) News(now clock.Millis, since uint64) (news []Heard, latest uint64) {
+func (t *Roster) News(now clock.Millis, since uint64) (news []ReceivedAnnouncement, latest uint64) {
 	for r := t.last; r != nil && r.Seq > since; r = r.prev {
 		if r.Live(now) {
-			news = append(news, Heard{Announcement: r.Announcement, Age: now - r.Heard})
+			news = append(news, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.Heard})
 		}
 	}
 	return news, t.seq
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -241,7 +241,7 @@
 		Hear: func(a model.Announcement) {
 			// A refused announcement was refused to the upstream itself as well, or
 			// was overtaken by a newer one.
-			_ = e.dispatch.ReceiveAnnouncement(member.Heard{Announcement: a})
+			_ = e.dispatch.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a})
 		},
 		Lender: e.dispatch,
 		Stamps: e.recorder,
