--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -29,8 +29,8 @@
 // Record is the latest announcement of an instance.
 type Record struct {
 	Announcement model.Announcement
-	// Heard is the time of the announcement, less the time it was under way.
-	Heard clock.Millis
+	// SentAt is the time of the announcement, less the time it was under way.
+	SentAt clock.Millis
 	// Expires is the end of the lease; it never moves back under one
 	// incarnation.
 	Expires clock.Millis
@@ -121,7 +121,7 @@
 		r = &Record{}
 		t.records[a.Instance] = r
 	}
-	changed = r.Announcement != a || r.Lapsed || r.Heard == 0
+	changed = r.Announcement != a || r.Lapsed || r.SentAt == 0
 	if r.Announcement.Incarnation != a.Incarnation {
 		r.Expires = 0
 	}
@@ -129,7 +129,7 @@
 		delete(t.byAddress, old)
 	}
 	r.Announcement = a
-	r.Heard = max(r.Heard, now-h.Age)
+	r.SentAt = max(r.SentAt, now-h.Age)
 	r.Expires = max(r.Expires, now-h.Age+t.cfg.Lease)
 	r.Lapsed = false
 	t.byAddress[a.Address] = a.Instance
@@ -234,7 +234,7 @@
 func (t *Roster) News(now clock.Millis, since uint64) (news []ReceivedAnnouncement, latest uint64) {
 	for r := t.last; r != nil && r.Seq > since; r = r.prev {
 		if r.Live(now) {
-			news = append(news, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.Heard})
+			news = append(news, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.SentAt})
 		}
 	}
 	return news, t.seq
