--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -128,7 +128,7 @@
 			"": func(t *rapid.T) {
 				r.Each(func(rec *Record) {
 					id := rec.Announcement.Instance
-					assert.Equal(t, rec.Expires, expires[id])
+					assert.Equal(t, rec.ExpiresAt, expires[id])
 					assert.Equal(t, rec.Lapsed, lapsed[id])
 				})
 			},
@@ -155,7 +155,7 @@
 			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
 		}
 		a, _ := r.Get("a")
-		assert.Equal(t, a.Expires, woke+DefaultLease)
+		assert.Equal(t, a.ExpiresAt, woke+DefaultLease)
 		dead, known := r.Get("dead")
 		assert.Assert(t, !known || dead.Lapsed, "the pause revived what was gone")
 		gone := 0
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -31,9 +31,9 @@
 	Announcement model.Announcement
 	// SentAt is the time of the announcement, less the time it was under way.
 	SentAt clock.Millis
-	// Expires is the end of the lease; it never moves back under one
+	// ExpiresAt is the end of the lease; it never moves back under one
 	// incarnation.
-	Expires clock.Millis
+	ExpiresAt clock.Millis
 	// Lapsed says that the end of the lease was reported.
 	Lapsed bool
 	// Seq is the number of the last announcement heard from the upstream
@@ -44,7 +44,7 @@
 }
 
 // Live reports whether the lease holds at a time.
-func (r *Record) Live(now clock.Millis) bool { return r.Expires > now }
+func (r *Record) Live(now clock.Millis) bool { return r.ExpiresAt > now }
 
 // ReceivedAnnouncement is an announcement with the way it took.
 type ReceivedAnnouncement struct {
@@ -101,8 +101,8 @@
 	}
 	t.Pauses++
 	for _, r := range t.records {
-		if r.Expires > before {
-			r.Expires = max(r.Expires, now+t.cfg.Lease)
+		if r.ExpiresAt > before {
+			r.ExpiresAt = max(r.ExpiresAt, now+t.cfg.Lease)
 		}
 	}
 	return true
@@ -123,14 +123,14 @@
 	}
 	changed = r.Announcement != a || r.Lapsed || r.SentAt == 0
 	if r.Announcement.Incarnation != a.Incarnation {
-		r.Expires = 0
+		r.ExpiresAt = 0
 	}
 	if old := r.Announcement.Address; old != a.Address && t.byAddress[old] == a.Instance {
 		delete(t.byAddress, old)
 	}
 	r.Announcement = a
 	r.SentAt = max(r.SentAt, now-h.Age)
-	r.Expires = max(r.Expires, now-h.Age+t.cfg.Lease)
+	r.ExpiresAt = max(r.ExpiresAt, now-h.Age+t.cfg.Lease)
 	r.Lapsed = false
 	t.byAddress[a.Address] = a.Instance
 	if h.Direct {
@@ -201,7 +201,7 @@
 		case !r.Lapsed:
 			r.Lapsed = true
 			buf = append(buf, *r)
-		case now-r.Expires > Forget:
+		case now-r.ExpiresAt > Forget:
 			t.unlink(r)
 			if t.byAddress[r.Announcement.Address] == id {
 				delete(t.byAddress, r.Announcement.Address)
