--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -236,7 +236,7 @@
 	if a.State == model.AnnounceLeaving {
 		e.Kind = model.EventUpstreamLeft
 	}
-	if !known || before.Announcement != a || before.Lapsed {
+	if !known || before.Announcement != a || before.Expired {
 		d.event(e)
 	}
 	d.pumpAll(now)
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -129,7 +129,7 @@
 				r.Each(func(rec *Record) {
 					id := rec.Announcement.Instance
 					assert.Equal(t, rec.ExpiresAt, expires[id])
-					assert.Equal(t, rec.Lapsed, lapsed[id])
+					assert.Equal(t, rec.Expired, lapsed[id])
 				})
 			},
 		})
@@ -157,7 +157,7 @@
 		a, _ := r.Get("a")
 		assert.Equal(t, a.ExpiresAt, woke+DefaultLease)
 		dead, known := r.Get("dead")
-		assert.Assert(t, !known || dead.Lapsed, "the pause revived what was gone")
+		assert.Assert(t, !known || dead.Expired, "the pause revived what was gone")
 		gone := 0
 		for step := range clock.Millis(4) {
 			gone += len(r.Lapse(woke+step*1000, nil))
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -34,8 +34,8 @@
 	// ExpiresAt is the end of the lease; it never moves back under one
 	// incarnation.
 	ExpiresAt clock.Millis
-	// Lapsed says that the end of the lease was reported.
-	Lapsed bool
+	// Expired says that the end of the lease was reported.
+	Expired bool
 	// Seq is the number of the last announcement heard from the upstream
 	// itself; 0 when all came through neighbours.
 	Seq uint64
@@ -121,7 +121,7 @@
 		r = &Record{}
 		t.records[a.Instance] = r
 	}
-	changed = r.Announcement != a || r.Lapsed || r.SentAt == 0
+	changed = r.Announcement != a || r.Expired || r.SentAt == 0
 	if r.Announcement.Incarnation != a.Incarnation {
 		r.ExpiresAt = 0
 	}
@@ -131,7 +131,7 @@
 	r.Announcement = a
 	r.SentAt = max(r.SentAt, now-h.Age)
 	r.ExpiresAt = max(r.ExpiresAt, now-h.Age+t.cfg.Lease)
-	r.Lapsed = false
+	r.Expired = false
 	t.byAddress[a.Address] = a.Instance
 	if h.Direct {
 		t.seq++
@@ -198,8 +198,8 @@
 	for id, r := range t.records {
 		switch {
 		case r.Live(now):
-		case !r.Lapsed:
-			r.Lapsed = true
+		case !r.Expired:
+			r.Expired = true
 			buf = append(buf, *r)
 		case now-r.ExpiresAt > Forget:
 			t.unlink(r)
