--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -52,8 +52,8 @@
 	// Runs counts the starts of all tasks, and Fails the failed ones.
 	Runs     int
 	Failures int
-	// Limit binds the waiting tasks.
-	Limit Limit
+	// WaitReason binds the waiting tasks.
+	WaitReason Limit
 }
 
 // RunReport is a task that is assigned to a worker.
@@ -144,11 +144,11 @@
 	switch {
 	case x.Waiting == 0 || r.Status.Final():
 	case r.Due(k) > now:
-		x.Limit = LimitTime
+		x.WaitReason = LimitTime
 	case !r.Ready(k, i):
-		x.Limit = LimitSteps
+		x.WaitReason = LimitSteps
 	default:
-		x.Limit = b.limitOf(r, k, i, now)
+		x.WaitReason = b.limitOf(r, k, i, now)
 	}
 	return x
 }
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -60,7 +60,7 @@
 			r.Pass(r.now)
 			x, ok := r.Explain("a", r.now)
 			assert.Assert(t, ok)
-			assert.Equal(t, x.Steps[c.step].Limit, c.want)
+			assert.Equal(t, x.Steps[c.step].WaitReason, c.want)
 		})
 	}
 }
@@ -72,7 +72,7 @@
 	r.hear("w1", 1, nil)
 	r.Pass(r.now)
 	x, _ := r.Explain("a", r.now)
-	assert.Equal(t, x.Steps[0].Limit, LimitAdvice)
+	assert.Equal(t, x.Steps[0].WaitReason, LimitAdvice)
 }
 
 // TestExplainCounts guards against a report that does not add up to what was
@@ -89,7 +89,7 @@
 	r.hear("w1", 1, nil, RunEnd{Number: 1, Task: o.Starts[0].Task, Run: 1, Result: jobs.ResultFailed})
 	x, ok := r.Explain("a", r.now)
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, x.Steps, []StepReport{{Tasks: 2, Running: 1, Waiting: 1, Runs: 2, Failures: 1, Limit: LimitHeartbeat}})
+	assert.DeepEqual(t, x.Steps, []StepReport{{Tasks: 2, Running: 1, Waiting: 1, Runs: 2, Failures: 1, WaitReason: LimitHeartbeat}})
 	assert.Equal(t, len(x.Runs), 1)
 	_, ok = r.Explain("none", r.now)
 	assert.Assert(t, !ok)
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -96,7 +96,7 @@
 		Steps: list(r.Steps, func(s sched.StepReport) *wirepb.JobStepReport {
 			return &wirepb.JobStepReport{
 				Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done),
-				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: text(s.Limit),
+				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: text(s.WaitReason),
 			}
 		}),
 		Runs: list(r.Runs, func(x sched.RunReport) *wirepb.JobRunReport {
@@ -120,7 +120,7 @@
 		r.Steps = append(r.Steps, sched.StepReport{
 			Occurrence: int(s.GetOccurrence()), Step: int(s.GetStep()), Tasks: int(s.GetTasks()), Done: int(s.GetDone()),
 			Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Runs: int(s.GetRuns()), Failures: int(s.GetFails()),
-			Limit: sched.Limit(s.GetLimit()),
+			WaitReason: sched.Limit(s.GetLimit()),
 		})
 	}
 	for _, x := range w.GetRuns() {
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -65,9 +65,9 @@
 	steps := newTable("OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "RUNS", "FAILED", "WAITS-FOR")
 	var why []string
 	for _, s := range r.Steps {
-		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.Limit)
-		if s.Limit != sched.LimitNone {
-			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.Limit)))
+		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.WaitReason)
+		if s.WaitReason != sched.LimitNone {
+			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.WaitReason)))
 		}
 	}
 	section(&b, "Steps", steps)
@@ -104,7 +104,7 @@
 				{"waiting", s.Waiting},
 				{"runs", s.Runs},
 				{"failed", s.Failures},
-				{"waits-for", s.Limit},
+				{"waits-for", s.WaitReason},
 			}
 		})},
 		{"running", list(r.Runs, func(x sched.RunReport) object {
