--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -42,8 +42,8 @@
 
 // The decisions.
 const (
-	// PlanAskAgain: not every configured member answered.
-	PlanAskAgain Plan = iota
+	// PlanRetry: not every configured member answered.
+	PlanRetry Plan = iota
 	// PlanForm: all members are new; each writes the same first member list.
 	PlanForm
 	// PlanJoin: a group exists; its leader must add this process.
@@ -71,7 +71,7 @@
 	// the group that the others form.
 	founder := slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == self })
 	if len(members) < len(configured) || !founder {
-		return PlanAskAgain, nil
+		return PlanRetry, nil
 	}
 	for i := range members {
 		members[i].Voter = true
@@ -101,13 +101,13 @@
 func Wait[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
 		plan, members := Decide(self.ID, configured, ask(a, self, configured))
-		if plan != PlanAskAgain {
+		if plan != PlanRetry {
 			return plan, members
 		}
 		select {
 		case <-c.After(askWait):
 		case <-done:
-			return PlanAskAgain, nil
+			return PlanRetry, nil
 		}
 	}
 }
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -24,10 +24,10 @@
 		{"all new", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanForm},
 		{"founder whose start was interrupted", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders}}, PlanForm},
 		{"founder that lost its data folder", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders[1:]}}, PlanJoin},
-		{"one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanAskAgain},
+		{"one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanRetry},
 		{"one was in a group", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: true}, {Name: "c3", ID: 3, Initialised: false}}, PlanJoin},
 		{"one in a group, one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c3", ID: 3, Initialised: true}}, PlanJoin},
-		{"one without identity", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanAskAgain},
+		{"one without identity", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanRetry},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -40,7 +40,7 @@
 	if !initialised(stored) {
 		plan, members := boot.Wait(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
 		switch plan {
-		case boot.PlanAskAgain:
+		case boot.PlanRetry:
 			return nil
 		case boot.PlanForm:
 			if err := f.form(&stored, members); err != nil {
