--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -27,8 +27,8 @@
 type View struct {
 	Members []raft.Member
 	// Leads says that this process leads, and Led that a leader is known.
-	Leads bool
-	Led   bool
+	Leads     bool
+	HasLeader bool
 	// Silent lists, in the leader, the members that were not heard lately.
 	Silent []raft.MemberID
 }
@@ -139,7 +139,7 @@
 func (k *MembershipManager[A, M]) enlist(ctx context.Context, v View) {
 	listed := slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == k.self.ID })
 	k.alone++
-	if v.Led {
+	if v.HasLeader {
 		k.alone = 0
 	}
 	if k.member.ID == 0 || (listed && k.alone < aloneLooks) {
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/keeper_test.go
@@ -65,13 +65,13 @@
 // address that nobody adds, and against a removed member that never comes back.
 func TestStrangerAsksToJoin(t *testing.T) {
 	k, g, _ := newTestKeeper(3)
-	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, Led: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, HasLeader: true}
 	k.look()
 	assert.Equal(t, g.asked, 1)
-	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, Led: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, HasLeader: true}
 	k.look()
 	assert.Equal(t, g.asked, 1, "it is a member")
-	g.view.Led = false
+	g.view.HasLeader = false
 	for range aloneLooks {
 		k.look()
 	}
