--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -218,7 +218,7 @@
 
 // tick handles what only the passing of time changes.
 func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
-	d.lapsed = d.roster.Lapse(now, d.lapsed[:0])
+	d.lapsed = d.roster.Expire(now, d.lapsed[:0])
 	for _, r := range d.lapsed {
 		d.router.SetAnnouncement(now, r.Announcement, false)
 		d.event(model.Event{Kind: model.EventUpstreamGone, Instance: r.Announcement.Instance, Pool: r.Announcement.Pool, Limit: "lease"})
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -118,7 +118,7 @@
 			},
 			"time": func(t *rapid.T) {
 				now += clock.Millis(rapid.IntRange(1, 800).Draw(t, "ms"))
-				for _, gone := range r.Lapse(now, nil) {
+				for _, gone := range r.Expire(now, nil) {
 					id := gone.Announcement.Instance
 					assert.Assert(t, !lapsed[id], "the end was reported twice")
 					assert.Assert(t, expires[id] <= now)
@@ -146,12 +146,12 @@
 		now := clock.Millis(0)
 		for range 4 {
 			now += 1000
-			r.Lapse(now, nil)
+			r.Expire(now, nil)
 		}
 		_, err = r.Accept(now, direct(announcement("a", 1)))
 		assert.NilError(t, err)
 		woke := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
-		for _, l := range r.Lapse(woke, nil) {
+		for _, l := range r.Expire(woke, nil) {
 			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
 		}
 		a, _ := r.Get("a")
@@ -160,7 +160,7 @@
 		assert.Assert(t, !known || dead.Expired, "the pause revived what was gone")
 		gone := 0
 		for step := range clock.Millis(4) {
-			gone += len(r.Lapse(woke+step*1000, nil))
+			gone += len(r.Expire(woke+step*1000, nil))
 		}
 		assert.Equal(t, gone, 1)
 		assert.Equal(t, r.Pauses, 1)
@@ -203,8 +203,8 @@
 		_, err := r.Accept(0, direct(announcement(fmt.Sprint(i), 1)))
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, len(r.Lapse(DefaultLease, nil)), 50)
-	r.Lapse(DefaultLease+Forget+1, nil)
+	assert.Equal(t, len(r.Expire(DefaultLease, nil)), 50)
+	r.Expire(DefaultLease+Forget+1, nil)
 	assert.Equal(t, len(r.records)+len(r.byAddress), 0)
 	assert.Assert(t, r.first == nil && r.last == nil)
 }
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -191,9 +191,9 @@
 	return nil
 }
 
-// Lapse marks the records whose lease ended, appends them to buf, and forgets
+// Expire marks the records whose lease ended, appends them to buf, and forgets
 // those that lapsed long ago.
-func (t *Roster) Lapse(now clock.Millis, buf []Record) []Record {
+func (t *Roster) Expire(now clock.Millis, buf []Record) []Record {
 	t.Observe(now)
 	for id, r := range t.records {
 		switch {
