--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -204,7 +204,7 @@
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, len(r.Expire(DefaultLease, nil)), 50)
-	r.Expire(DefaultLease+Forget+1, nil)
+	r.Expire(DefaultLease+ForgetAfter+1, nil)
 	assert.Equal(t, len(r.records)+len(r.byAddress), 0)
 	assert.Assert(t, r.first == nil && r.last == nil)
 }
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -12,9 +12,9 @@
 	// DefaultPause is the gap between two ticks that counts as a pause of this
 	// process.
 	DefaultPause = clock.Second
-	// Forget is the time after which a lapsed record and its incarnation are
+	// ForgetAfter is the time after which a lapsed record and its incarnation are
 	// dropped. It is far longer than any announcement can be under way.
-	Forget = clock.Hour
+	ForgetAfter = clock.Hour
 )
 
 // Settings of a roster.
@@ -201,7 +201,7 @@
 		case !r.Expired:
 			r.Expired = true
 			buf = append(buf, *r)
-		case now-r.ExpiresAt > Forget:
+		case now-r.ExpiresAt > ForgetAfter:
 			t.unlink(r)
 			if t.byAddress[r.Announcement.Address] == id {
 				delete(t.byAddress, r.Announcement.Address)
