--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -197,7 +197,7 @@
 // observe reads the clock and notices a pause of this process.
 func (d *Dispatcher[P, Q, L]) observe() clock.Millis {
 	now := d.clk.Now()
-	if d.roster.Observe(now) {
+	if d.roster.Tick(now) {
 		d.ready = false
 	}
 	return now
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -90,10 +90,10 @@
 // Lease returns the lease that an accepted announcement gets.
 func (t *Roster) Lease() clock.Millis { return t.cfg.Lease }
 
-// Observe tells the roster the time. After a gap longer than the pause, this
+// Tick tells the roster the time. After a gap longer than the pause, this
 // process itself was stopped and could not hear anybody: every lease that held
 // before the gap is prolonged by one lease. It reports whether that was so.
-func (t *Roster) Observe(now clock.Millis) (paused bool) {
+func (t *Roster) Tick(now clock.Millis) (paused bool) {
 	before := t.seen
 	t.seen = max(t.seen, now)
 	if now-before <= t.cfg.Pause {
@@ -111,7 +111,7 @@
 // Accept takes an announcement in, or returns why not. changed reports whether
 // anything but the lease differs from before.
 func (t *Roster) Accept(now clock.Millis, h ReceivedAnnouncement) (changed bool, err error) {
-	t.Observe(now)
+	t.Tick(now)
 	if e := t.check(now, h); e != nil {
 		return false, e
 	}
@@ -194,7 +194,7 @@
 // Expire marks the records whose lease ended, appends them to buf, and forgets
 // those that lapsed long ago.
 func (t *Roster) Expire(now clock.Millis, buf []Record) []Record {
-	t.Observe(now)
+	t.Tick(now)
 	for id, r := range t.records {
 		switch {
 		case r.Live(now):
