--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -9,9 +9,9 @@
 const (
 	// DefaultLease is three announcement intervals.
 	DefaultLease = 3 * clock.Second
-	// DefaultPause is the gap between two ticks that counts as a pause of this
+	// DefaultMaxTickGap is the gap between two ticks that counts as a pause of this
 	// process.
-	DefaultPause = clock.Second
+	DefaultMaxTickGap = clock.Second
 	// ForgetAfter is the time after which a lapsed record and its incarnation are
 	// dropped. It is far longer than any announcement can be under way.
 	ForgetAfter = clock.Hour
@@ -77,7 +77,7 @@
 		cfg.Lease = DefaultLease
 	}
 	if cfg.Pause <= 0 {
-		cfg.Pause = DefaultPause
+		cfg.Pause = DefaultMaxTickGap
 	}
 	return &Roster{
 		cfg:       cfg,
