--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -418,7 +418,7 @@
 	}
 	for _, a := range b.actions {
 		if !r.actions.TryPut(action{Action: a, term: r.term, at: now, skew: r.skew}) {
-			r.board.HandleOutcome(a, sched.Outcome{Answer: sched.AnswerLater}, now)
+			r.board.HandleOutcome(a, sched.Outcome{Answer: sched.AnswerRefusedForNow}, now)
 		}
 	}
 }
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -108,7 +108,7 @@
 type noMachines struct{}
 
 func (noMachines) Do(context.Context, MachineAction) sched.Outcome {
-	return sched.Outcome{Answer: sched.AnswerLater}
+	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
 type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -205,7 +205,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.ExpectedDuration).Duration())
 	defer cancel()
 	if !r.may(a) {
-		return sched.Outcome{Answer: sched.AnswerLater}
+		return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 	}
 	return r.machines.Do(ctx, MachineAction{Action: a.Action, Holder: r.Name, Token: a.term, MaySend: func() bool { return r.may(a) }})
 }
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -267,7 +267,7 @@
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
 	for range 5 {
 		for _, a := range actions(r.Pass(r.now), ActionMaintain) {
-			r.HandleOutcome(a, Outcome{Answer: AnswerLater}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
 		r.now += upkeepPeriod
 	}
@@ -301,7 +301,7 @@
 	for range 40 {
 		p := r.Pass(r.now)
 		for _, a := range actions(p, ActionMaintain) {
-			r.HandleOutcome(a, Outcome{Answer: AnswerLater}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
 		for _, a := range actions(p, ActionList) {
 			lists++
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -318,8 +318,8 @@
 const (
 	// AnswerDone: the machine goes down, or its maintenance had begun already.
 	AnswerDone Answer = iota
-	// AnswerLater: refused for now; nothing was done.
-	AnswerLater
+	// AnswerRefusedForNow: refused for now; nothing was done.
+	AnswerRefusedForNow
 	// AnswerNever: the machine does not exist or is not part of the wave.
 	AnswerNever
 	// AnswerUnknown: no answer; the order may have been carried out.
@@ -370,7 +370,7 @@
 		if w := b.machines[o.Machine]; w != nil {
 			w.held, w.leaving = false, false
 		}
-	case AnswerLater:
+	case AnswerRefusedForNow:
 		if v.refused[o.Machine]++; v.refused[o.Machine] == refusalsToList {
 			// The machine may be gone for good; the list of machines tells.
 			b.fleet.asked = 0
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -50,7 +50,7 @@
 type noMachines struct{}
 
 func (noMachines) Do(context.Context, runner.MachineAction) sched.Outcome {
-	return sched.Outcome{Answer: sched.AnswerLater}
+	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
 // serveJobs adds the runner and the server for workers and operators.
