--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -198,7 +198,7 @@
 
 // Guards against records that pile up as instances are replaced.
 func TestOldRecordsAreForgotten(t *testing.T) {
-	r := New(Settings{Zone: "z", Pause: clock.Day}, 0)
+	r := New(Settings{Zone: "z", MaxTickGap: clock.Day}, 0)
 	for i := range 50 {
 		_, err := r.Accept(0, direct(announcement(fmt.Sprint(i), 1)))
 		assert.NilError(t, err)
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -22,8 +22,8 @@
 	Zone model.Zone
 	// Lease is how long an announcement holds.
 	Lease clock.Millis
-	// Pause is the longest gap between two ticks without a grace.
-	Pause clock.Millis
+	// MaxTickGap is the longest gap between two ticks without a grace.
+	MaxTickGap clock.Millis
 }
 
 // Record is the latest announcement of an instance.
@@ -76,8 +76,8 @@
 	if cfg.Lease <= 0 {
 		cfg.Lease = DefaultLease
 	}
-	if cfg.Pause <= 0 {
-		cfg.Pause = DefaultMaxTickGap
+	if cfg.MaxTickGap <= 0 {
+		cfg.MaxTickGap = DefaultMaxTickGap
 	}
 	return &Roster{
 		cfg:       cfg,
@@ -96,7 +96,7 @@
 func (t *Roster) Tick(now clock.Millis) (paused bool) {
 	before := t.seen
 	t.seen = max(t.seen, now)
-	if now-before <= t.cfg.Pause {
+	if now-before <= t.cfg.MaxTickGap {
 		return false
 	}
 	t.Pauses++
