--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -320,8 +320,8 @@
 	AnswerDone Answer = iota
 	// AnswerRefusedForNow: refused for now; nothing was done.
 	AnswerRefusedForNow
-	// AnswerNever: the machine does not exist or is not part of the wave.
-	AnswerNever
+	// AnswerRefusedForGood: the machine does not exist or is not part of the wave.
+	AnswerRefusedForGood
 	// AnswerUnknown: no answer; the order may have been carried out.
 	AnswerUnknown
 )
@@ -364,7 +364,7 @@
 		if w := b.machines[o.Machine]; w != nil && w.life == v.away[o.Machine].life && !v.repeated[o.Machine] {
 			b.remove(w, "its machine is maintained", now)
 		}
-	case AnswerNever:
+	case AnswerRefusedForGood:
 		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
 		delete(v.away, o.Machine)
 		if w := b.machines[o.Machine]; w != nil {
