--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -15,10 +15,10 @@
 // Wait says why an instance's step has to wait.
 type Wait struct {
 	Instance model.InstanceID
-	// For lists the entry processes that have not confirmed the release.
-	For    []model.Process
-	Since  clock.Millis
-	Reason string
+	// Unconfirmed lists the entry processes that have not confirmed the release.
+	Unconfirmed []model.Process
+	Since       clock.Millis
+	Reason      string
 }
 
 // Enrol returns the steps that make announced instances part of the fleet. The
@@ -46,7 +46,7 @@
 func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
 	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
 		return model.InstanceStep{}, &Wait{
-			Instance: i.ID, For: missing, Since: i.PhaseSince,
+			Instance: i.ID, Unconfirmed: missing, Since: i.PhaseSince,
 			Reason: "an entry process has not confirmed the release",
 		}
 	}
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -151,7 +151,7 @@
 	assert.Equal(t, w.instance(moved).Phase, model.PhaseReleasing)
 	w.run(60 * clock.Second)
 	assert.Equal(t, w.instance(moved).Pool, model.Pool("portal"), "e2 has not confirmed")
-	assert.DeepEqual(t, w.mover.waits[0].For, []model.Process{"e2"})
+	assert.DeepEqual(t, w.mover.waits[0].Unconfirmed, []model.Process{"e2"})
 	delete(w.drained, "e2")
 	w.run(3 * clock.Second)
 	assert.Equal(t, w.instance(moved).Pool, model.Pool("merge"))
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -205,7 +205,7 @@
 		}
 		if missing := m.registry.Unconfirmed(m.Entries, i.Zone, i.Version); len(missing) > 0 {
 			waits = append(waits, Wait{
-				Instance: id, For: missing, Since: i.PhaseSince,
+				Instance: id, Unconfirmed: missing, Since: i.PhaseSince,
 				Reason: "an entry process has not confirmed the release",
 			})
 		}
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -258,7 +258,7 @@
 	}
 	for _, x := range st.Waits {
 		ww := &wirepb.Wait{Instance: string(x.Instance), SinceMs: int64(x.Since), Reason: x.Reason}
-		for _, p := range x.For {
+		for _, p := range x.Unconfirmed {
 			ww.For = append(ww.For, string(p))
 		}
 		w.Waits = append(w.Waits, ww)
