--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -19,8 +19,8 @@
 	Incarnation uint64
 	Version     model.Version
 	Drained     model.Version
-	// Since is the time at which the leader first heard of Version.
-	Since clock.Millis
+	// VersionSince is the time at which the leader first heard of Version.
+	VersionSince clock.Millis
 	// Seen is the time of the latest report.
 	Seen clock.Millis
 }
@@ -74,10 +74,10 @@
 	}
 	if !known || r.Incarnation > held.Incarnation {
 		g.forget(r.Process, now)
-		held = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, Since: now}
+		held = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, VersionSince: now}
 	}
 	if r.Version != held.Version {
-		held.Version, held.Since = r.Version, now
+		held.Version, held.VersionSince = r.Version, now
 	}
 	held.Drained = r.Drained
 	held.Seen = now
