--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -21,8 +21,8 @@
 	Drained     model.Version
 	// VersionSince is the time at which the leader first heard of Version.
 	VersionSince clock.Millis
-	// Seen is the time of the latest report.
-	Seen clock.Millis
+	// LastReportAt is the time of the latest report.
+	LastReportAt clock.Millis
 }
 
 // Registry holds what the leader heard from the entry processes. It is not
@@ -80,7 +80,7 @@
 		held.Version, held.VersionSince = r.Version, now
 	}
 	held.Drained = r.Drained
-	held.Seen = now
+	held.LastReportAt = now
 	g.Processes[r.Process] = held
 	if g.Quiet[r.Process] {
 		g.unhush(r.Process)
@@ -118,7 +118,7 @@
 // instances only when one becomes quiet.
 func (g *Registry) Hush(now clock.Millis) {
 	for _, r := range g.Processes {
-		if g.Quiet[r.Process] || now-r.Seen <= SilentAfter || g.Silent(r.Zone, now) {
+		if g.Quiet[r.Process] || now-r.LastReportAt <= SilentAfter || g.Silent(r.Zone, now) {
 			continue
 		}
 		g.Quiet[r.Process] = true
@@ -198,7 +198,7 @@
 // Silent reports whether no entry process of the zone has reported lately.
 func (g *Registry) Silent(zone model.Zone, now clock.Millis) bool {
 	for _, r := range g.Processes {
-		if r.Zone == zone && now-r.Seen <= SilentAfter {
+		if r.Zone == zone && now-r.LastReportAt <= SilentAfter {
 			return false
 		}
 	}
