--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -26,8 +26,8 @@
 // View is what a member knows of its group.
 type View struct {
 	Members []raft.Member
-	// Leads says that this process leads, and Led that a leader is known.
-	Leads     bool
+	// IsLeader says that this process leads, and Led that a leader is known.
+	IsLeader  bool
 	HasLeader bool
 	// Silent lists, in the leader, the members that were not heard lately.
 	Silent []raft.MemberID
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout.Duration())
 	defer cancel()
 	v := k.group.Refresh(ctx)
-	if !v.Leads {
+	if !v.IsLeader {
 		clear(k.silent)
 		k.enlist(ctx, v)
 		return
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/keeper_test.go
@@ -84,7 +84,7 @@
 func TestSilentMemberIsRetired(t *testing.T) {
 	for _, c := range []struct{ size, want int }{{3, 1}, {4, 0}} {
 		k, g, clk := newTestKeeper(c.size)
-		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, Leads: true, Silent: []raft.MemberID{3}}
+		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, IsLeader: true, Silent: []raft.MemberID{3}}
 		k.look()
 		clk.Advance(silentMillis - 1)
 		k.look()
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -78,7 +78,7 @@
 // Refresh makes the members' addresses known to the senders.
 func (m *seat) Refresh(ctx context.Context) boot.View {
 	s := m.ask(ctx)
-	v := boot.View{Members: s.Members, Leads: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
+	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
 	for _, p := range s.Peers {
 		if !p.RecentlyActive {
 			v.Silent = append(v.Silent, p.Member.ID)
