--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -96,9 +96,9 @@
 	return members
 }
 
-// Wait asks the configured members until the plan is clear or done is closed;
+// AwaitPlan asks the configured members until the plan is clear or done is closed;
 // it returns PlanAskAgain in the latter case.
-func Wait[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
+func AwaitPlan[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
 		plan, members := Decide(self.ID, configured, ask(a, self, configured))
 		if plan != PlanRetry {
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -38,7 +38,7 @@
 	c := f.c
 	stored := c.disk.Stored()
 	if !initialised(stored) {
-		plan, members := boot.Wait(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
+		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
 		switch plan {
 		case boot.PlanRetry:
 			return nil
