--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -46,8 +46,8 @@
 	Close(name string) bool
 }
 
-// Lender is the duty. Its ring is filled by the owner of the ledger.
-type Lender[P Peers, B Book, L Links] struct {
+// Sender is the duty. Its ring is filled by the owner of the ledger.
+type Sender[P Peers, B Book, L Links] struct {
 	in    *ring.Ring[lend.Message]
 	peers P
 	book  B
@@ -64,8 +64,8 @@
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B Book, L Links](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
-	d := &Lender[P, B, L]{
+func New[P Peers, B Book, L Links](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
+	d := &Sender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
 	}
@@ -77,7 +77,7 @@
 
 // Run hands the orders out until Stop, and then gives back what is held: a
 // lender would else keep the slots idle for longer than a request may last.
-func (d *Lender[P, B, L]) Run() error {
+func (d *Sender[P, B, L]) Run() error {
 	defer close(d.ended)
 	var wg sync.WaitGroup
 	for _, p := range d.to {
@@ -92,7 +92,7 @@
 	return nil
 }
 
-func (d *Lender[P, B, L]) handOut() {
+func (d *Sender[P, B, L]) handOut() {
 	for {
 		select {
 		case o := <-d.in.C():
@@ -106,13 +106,13 @@
 }
 
 // Stop ends Run and waits for its end, so that the book outlives it.
-func (d *Lender[P, B, L]) Stop() {
+func (d *Sender[P, B, L]) Stop() {
 	close(d.done)
 	<-d.ended
 }
 
 // Refused is the number of orders that found a full ring.
-func (d *Lender[P, B, L]) Refused() int64 {
+func (d *Sender[P, B, L]) Refused() int64 {
 	n := d.in.Refused()
 	for _, p := range d.to {
 		n += p.in.Refused()
@@ -120,7 +120,7 @@
 	return n
 }
 
-func (d *Lender[P, B, L]) runPeer(p peer) {
+func (d *Sender[P, B, L]) runPeer(p peer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
@@ -134,7 +134,7 @@
 }
 
 // carry sends one order and tells the book how it ended.
-func (d *Lender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Message) {
+func (d *Sender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Message) {
 	if !d.closed(o.CloseConnections) {
 		d.fail(o)
 		return
@@ -157,7 +157,7 @@
 	}
 }
 
-func (d *Lender[P, B, L]) closed(names []string) bool {
+func (d *Sender[P, B, L]) closed(names []string) bool {
 	for try := 1; ; try++ {
 		left := false
 		for _, name := range names {
@@ -171,7 +171,7 @@
 }
 
 // fail ends an order that was not sent as one without an answer.
-func (d *Lender[P, B, L]) fail(o lend.Message) {
+func (d *Sender[P, B, L]) fail(o lend.Message) {
 	switch o.Kind {
 	case lend.MessageRequest:
 		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -58,7 +58,7 @@
 	reporter *follow.Reporter[*peers.Leader]
 	roster   *roster.Forwarder[*peers.Client]
 	claimer  *claim.Claimer[*peers.Leader]
-	lender   *lender.Lender[*peers.Client, *dispatcher, *uplink.Link]
+	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Link]
 	link     *uplink.Link
 	timed    *timed
 	front    *front.Front[*timed, *claim.Claimer[*peers.Leader]]
