--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -82,8 +82,8 @@
 // Since is the time from which the table has been in force.
 func (p *Poller[S]) Since() clock.Millis { return clock.Millis(p.inForce.Load()) }
 
-// Contact is the time of the last answer of a control member; 0 for none.
-func (p *Poller[S]) Contact() clock.Millis { return clock.Millis(p.contact.Load()) }
+// LastContact is the time of the last answer of a control member; 0 for none.
+func (p *Poller[S]) LastContact() clock.Millis { return clock.Millis(p.contact.Load()) }
 
 // Run polls until Stop.
 func (p *Poller[S]) Run() error {
