--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -79,8 +79,8 @@
 // Version is the version of the table in force.
 func (p *Poller[S]) Version() model.Version { return model.Version(p.version.Load()) }
 
-// Since is the time from which the table has been in force.
-func (p *Poller[S]) Since() clock.Millis { return clock.Millis(p.inForce.Load()) }
+// InForceSince is the time from which the table has been in force.
+func (p *Poller[S]) InForceSince() clock.Millis { return clock.Millis(p.inForce.Load()) }
 
 // LastContact is the time of the last answer of a control member; 0 for none.
 func (p *Poller[S]) LastContact() clock.Millis { return clock.Millis(p.contact.Load()) }
