--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -57,7 +57,7 @@
 	case opHear:
 		c.err = d.hear(now, c.heard)
 	case opNews:
-		c.news, c.since = d.roster.News(now, c.since)
+		c.news, c.since = d.roster.UpdatesSince(now, c.since)
 	case opStatus:
 		c.status = d.status()
 	case opConfig:
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -182,7 +182,7 @@
 				assert.NilError(t, err)
 				heard[an.Instance] = true
 			}
-			news, latest := a.News(now+5, seq)
+			news, latest := a.UpdatesSince(now+5, seq)
 			assert.Equal(t, len(news), len(heard))
 			for _, h := range news {
 				assert.Assert(t, heard[h.Announcement.Instance] && !h.Direct && h.Age == 5)
@@ -190,7 +190,7 @@
 				assert.NilError(t, err)
 			}
 			seq = latest
-			echoes, _ := b.News(now+5, 0)
+			echoes, _ := b.UpdatesSince(now+5, 0)
 			assert.Equal(t, len(echoes), 0)
 		}
 	})
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -228,10 +228,10 @@
 	}
 }
 
-// News returns what was heard from upstreams themselves after a sequence
+// UpdatesSince returns what was heard from upstreams themselves after a sequence
 // number, for the neighbours, and the number to ask from next. Its cost
 // follows the number of news.
-func (t *Roster) News(now clock.Millis, since uint64) (news []ReceivedAnnouncement, latest uint64) {
+func (t *Roster) UpdatesSince(now clock.Millis, since uint64) (news []ReceivedAnnouncement, latest uint64) {
 	for r := t.last; r != nil && r.Seq > since; r = r.prev {
 		if r.Live(now) {
 			news = append(news, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.SentAt})
