--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -339,7 +339,7 @@
 	if w.beat.pressed || len(w.beat.starts) > 0 || len(w.beat.stops) > 0 {
 		return now
 	}
-	hold := b.set.HoldMillis
+	hold := b.set.MaxHoldMillis
 	if worst, fillers := w.tails(); fillers > 0 && worst > fastPermille {
 		hold = min(hold, paceMillis)
 	}
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -226,7 +226,7 @@
 			}
 			if c.busy != "" {
 				racked("busy", c.busy)
-				r.now += r.set.HoldMillis
+				r.now += r.set.MaxHoldMillis
 				r.Pass(r.now)
 			}
 			r.submit("g", one)
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -107,7 +107,7 @@
 		running[i].Load = int(target) / 4
 	}
 	next.hear("w1", 1, running)
-	next.now += next.set.HoldMillis
+	next.now += next.set.MaxHoldMillis
 	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Throttles, []Throttle{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
 }
 
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -263,7 +263,7 @@
 
 // wake is when the next pass is due.
 func (b *Scheduler[O, J]) wake(now clock.Millis) clock.Millis {
-	at := now + b.set.HoldMillis
+	at := now + b.set.MaxHoldMillis
 	if b.answers.Len() > 0 {
 		at = min(at, b.answers.Top().at)
 	}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -12,9 +12,9 @@
 	LeaseMillis clock.Millis
 	// DriftPermille bounds by how much a worker's clock may run slow.
 	DriftPermille clock.Millis
-	// HoldMillis bounds how long the answer to a heartbeat is held back. A
+	// MaxHoldMillis bounds how long the answer to a heartbeat is held back. A
 	// worker drops an answer that comes after a second.
-	HoldMillis clock.Millis
+	MaxHoldMillis clock.Millis
 	// RetryMillis is the shortest pause that a worker is told to make before
 	// its next heartbeat, and SlowRetryMillis the longest.
 	RetryMillis     clock.Millis
@@ -46,7 +46,7 @@
 // Defaults are the settings that tests and the product start from.
 func Defaults() Settings {
 	return Settings{
-		LeaseMillis: 4 * clock.Second, DriftPermille: 25, HoldMillis: 700, RetryMillis: 20, SlowRetryMillis: 250,
+		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, RetryMillis: 20, SlowRetryMillis: 250,
 		QuietMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
 		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
