--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -344,9 +344,9 @@
 		hold = min(hold, paceMillis)
 	}
 	if end, ok := w.nextEnd(now); ok {
-		hold = min(hold, end-now-2*b.set.RetryMillis)
+		hold = min(hold, end-now-2*b.set.MinRetryMillis)
 	}
-	if hold < 2*b.set.RetryMillis {
+	if hold < 2*b.set.MinRetryMillis {
 		return now
 	}
 	return now + hold
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -251,14 +251,14 @@
 func (b *Scheduler[O, J]) retry(w *worker, now clock.Millis) clock.Millis {
 	end, ok := w.nextEnd(now)
 	if !ok {
-		return b.set.RetryMillis
+		return b.set.MinRetryMillis
 	}
 	most := b.set.SlowRetryMillis
 	if b.pool(w.pool).waits() {
 		// The room of a task that ends is wanted at once.
-		most = 2 * b.set.RetryMillis
+		most = 2 * b.set.MinRetryMillis
 	}
-	return min(max(end-now, b.set.RetryMillis), most)
+	return min(max(end-now, b.set.MinRetryMillis), most)
 }
 
 // wake is when the next pass is due.
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -15,9 +15,9 @@
 	// MaxHoldMillis bounds how long the answer to a heartbeat is held back. A
 	// worker drops an answer that comes after a second.
 	MaxHoldMillis clock.Millis
-	// RetryMillis is the shortest pause that a worker is told to make before
+	// MinRetryMillis is the shortest pause that a worker is told to make before
 	// its next heartbeat, and SlowRetryMillis the longest.
-	RetryMillis     clock.Millis
+	MinRetryMillis  clock.Millis
 	SlowRetryMillis clock.Millis
 	// QuietMillis is how long a new leader orders no maintenance, so that two
 	// leaders do not give orders for a machine in turns.
@@ -46,7 +46,7 @@
 // Defaults are the settings that tests and the product start from.
 func Defaults() Settings {
 	return Settings{
-		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, RetryMillis: 20, SlowRetryMillis: 250,
+		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, SlowRetryMillis: 250,
 		QuietMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
 		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
