--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -253,7 +253,7 @@
 	if !ok {
 		return b.set.MinRetryMillis
 	}
-	most := b.set.SlowRetryMillis
+	most := b.set.MaxRetryMillis
 	if b.pool(w.pool).waits() {
 		// The room of a task that ends is wanted at once.
 		most = 2 * b.set.MinRetryMillis
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -17,8 +17,8 @@
 	MaxHoldMillis clock.Millis
 	// MinRetryMillis is the shortest pause that a worker is told to make before
 	// its next heartbeat, and SlowRetryMillis the longest.
-	MinRetryMillis  clock.Millis
-	SlowRetryMillis clock.Millis
+	MinRetryMillis clock.Millis
+	MaxRetryMillis clock.Millis
 	// QuietMillis is how long a new leader orders no maintenance, so that two
 	// leaders do not give orders for a machine in turns.
 	QuietMillis clock.Millis
@@ -46,7 +46,7 @@
 // Defaults are the settings that tests and the product start from.
 func Defaults() Settings {
 	return Settings{
-		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, SlowRetryMillis: 250,
+		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
 		QuietMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
 		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
