--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -16,9 +16,9 @@
 	// an entry process for silent after three of them.
 	ReportInterval = clock.Second
 	reportTimeout  = clock.Second
-	// FeltInterval separates two reports of what callers felt. At 255 upstreams
+	// LoadInterval separates two reports of what callers felt. At 255 upstreams
 	// in a zone one such report has about 8 KB.
-	FeltInterval = 5 * clock.Second
+	LoadInterval = 5 * clock.Second
 )
 
 // Report is what an entry process tells the leader.
@@ -110,7 +110,7 @@
 	defer cancel()
 	r.lastTime = now
 	rep.Demand = r.demand()
-	if now-r.feltAt >= FeltInterval {
+	if now-r.feltAt >= LoadInterval {
 		r.feltAt = now
 		rep.Load = r.felt()
 	}
