--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -239,9 +239,9 @@
 	c := contract("acme", 0, 1)
 	c.Pools[0].Instances = 3
 	d := start(t, 4, c)
-	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12)
+	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12)
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12, "the smallest instance counts")
+	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12, "the smallest instance counts")
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 18)
+	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 18)
 }
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -153,7 +153,7 @@
 // CustomerStatus is the state of one customer in this process.
 type CustomerStatus struct {
 	Customer             model.Customer
-	InFlight, Queue      int
+	InFlightLimit, Queue int
 	Running, Waiting     int
 	Retries              float64
 	RetryPercent, Weight int
