--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -152,11 +152,11 @@
 
 // CustomerStatus is the state of one customer in this process.
 type CustomerStatus struct {
-	Customer             model.Customer
-	InFlightLimit, Queue int
-	Running, Waiting     int
-	Retries              float64
-	RetryPercent, Weight int
+	Customer                  model.Customer
+	InFlightLimit, QueueLimit int
+	Running, Waiting          int
+	Retries                   float64
+	RetryPercent, Weight      int
 }
 
 // Status is a copy of the dispatcher's state.
