--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -255,7 +255,7 @@
 	d.gate.Each(func(a *admit.CustomerState[*ask]) {
 		s.Customers = append(s.Customers, CustomerStatus{
 			Customer: a.Name, InFlightLimit: a.Limit.MaxInFlight, QueueLimit: a.Limit.MaxQueued,
-			Running: a.Running, Waiting: a.Waiting, Retries: a.RetryTokens,
+			Running: a.Running, Waiting: a.Waiting, RetryTokens: a.RetryTokens,
 			RetryPercent: a.Limit.RetryPercent, Weight: a.Limit.Weight,
 		})
 	})
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -155,7 +155,7 @@
 	Customer                  model.Customer
 	InFlightLimit, QueueLimit int
 	Running, Waiting          int
-	Retries                   float64
+	RetryTokens               float64
 	RetryPercent, Weight      int
 }
 
