--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -12,7 +12,7 @@
 
 // admit grants, queues or refuses an ask.
 func (d *Dispatcher[P, Q, L]) admit(now clock.Millis, a *ask) {
-	d.counts.Asks++
+	d.counts.Requests++
 	r := &a.request
 	if !d.ready {
 		d.refuse(a, Refusal{Kind: RefusalNotReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -117,7 +117,7 @@
 	for _, u := range s.Upstreams {
 		assert.Equal(t, u.Running, 0)
 	}
-	assert.Equal(t, s.Counts.Asks, s.Counts.Grants+s.Counts.Refused)
+	assert.Equal(t, s.Counts.Requests, s.Counts.Grants+s.Counts.Refused)
 }
 
 // Guards against refusals that are late, or that name the wrong reason.
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -284,7 +284,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 400)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun)
-	assert.Equal(t, g.gate.Snapshot().Counts.Asks, int64(0))
+	assert.Equal(t, g.gate.Snapshot().Counts.Requests, int64(0))
 }
 
 // Guards against a stop that cuts requests in flight, and against one that
