--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -231,7 +231,7 @@
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
 	p := r.Pass(r.now)
-	r.now += r.set.QuietMillis + 100
+	r.now += r.set.TakeoverDelayMillis + 100
 	for _, id := range []string{"w1", "w2"} {
 		s := orders(p, id).Starts[0]
 		r.hear(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
@@ -244,7 +244,7 @@
 // return of machines without a worker.
 func TestWavePassesMachinesThatAreOff(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	first := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(first), 1)
@@ -262,7 +262,7 @@
 // repeated all orders at once.
 func TestNewLeaderKeepsCap(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	machines := []jobs.MachineID{"m1", "m2", "m3", "m4", "m5"}
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
 	for range 5 {
@@ -295,7 +295,7 @@
 // the platform refuses a machine that is gone for good.
 func TestWaveDropsMissingMachines(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, r.now)
 	lists := 0
 	for range 40 {
@@ -324,7 +324,7 @@
 	r := newRig(Defaults())
 	r.hear("w1", 1, nil)
 	r.Pass(r.now)
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	order := actions(r.Pass(r.now), ActionMaintain)[0]
 	r.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, r.now)
@@ -344,7 +344,7 @@
 // callers get their work started in time only with machines that were off.
 func TestSurgeBringsMachines(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.hear("w1", 1, nil)
 	p := r.Pass(r.now)
 	assert.Equal(t, len(actions(p, ActionList)), 1)
@@ -367,7 +367,7 @@
 // workers than tasks.
 func TestLastingTasksGetMachines(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
@@ -382,7 +382,7 @@
 // run nothing, beyond the reserve.
 func TestIdleMachinesGoOff(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
 	ids := []string{"w1", "w2", "w3", "w4"}
 	for range 4 {
@@ -404,7 +404,7 @@
 // because the platform did not answer the order to move its machine.
 func TestLostMoveGivesWorkerBack(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
 	for range 12 {
 		for _, id := range []string{"w1", "w2", "w3"} {
@@ -440,7 +440,7 @@
 // between its start and its first job, and is missing when that comes.
 func TestFleetWaitsForItsFirstLoad(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	for range 10 {
 		for _, id := range []string{"w1", "w2", "w3", "w4"} {
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -85,7 +85,7 @@
 // off. It answers loads that rise to several times their mean for seconds, by
 // turns, while a move takes about a second and a half.
 func (b *Scheduler[O, J]) surge(now clock.Millis) {
-	if b.set.SurgeMillis == 0 || now < b.fleet.next || now < b.began+b.set.QuietMillis {
+	if b.set.SurgeMillis == 0 || now < b.fleet.next || now < b.began+b.set.TakeoverDelayMillis {
 		return
 	}
 	b.fleet.next = now + surgePeriod
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -19,9 +19,9 @@
 	// its next heartbeat, and SlowRetryMillis the longest.
 	MinRetryMillis clock.Millis
 	MaxRetryMillis clock.Millis
-	// QuietMillis is how long a new leader orders no maintenance, so that two
+	// TakeoverDelayMillis is how long a new leader orders no maintenance, so that two
 	// leaders do not give orders for a machine in turns.
-	QuietMillis clock.Millis
+	TakeoverDelayMillis clock.Millis
 	// DownMillis is how long the maintenance of a machine takes.
 	DownMillis clock.Millis
 	// SurgeMillis is the time within which the waiting work of a pool is to be
@@ -47,7 +47,7 @@
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
-		QuietMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
+		TakeoverDelayMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
 		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
 	}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -78,7 +78,7 @@
 	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
 		v := b.waves[n]
 		b.returned(v, now)
-		if v.Completed() || now < b.began+b.set.QuietMillis {
+		if v.Completed() || now < b.began+b.set.TakeoverDelayMillis {
 			continue
 		}
 		b.advance(v, now)
@@ -410,7 +410,7 @@
 func (b *Scheduler[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range b.waves {
 		if !v.Completed() {
-			return max(b.upkeep, b.began+b.set.QuietMillis), true
+			return max(b.upkeep, b.began+b.set.TakeoverDelayMillis), true
 		}
 	}
 	return 0, false
