--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -250,7 +250,7 @@
 	assert.Equal(t, len(first), 1)
 	r.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, r.now)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 0)
-	r.now += 3 * r.set.DownMillis
+	r.now += 3 * r.set.MaintenanceMillis
 	second := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(second), 1)
 	r.HandleOutcome(second[0], Outcome{Answer: AnswerDone}, r.now)
@@ -276,7 +276,7 @@
 	down := map[jobs.MachineID]clock.Millis{}
 	for range 400 {
 		for _, a := range actions(next.Pass(next.now), ActionMaintain) {
-			down[a.Machine] = next.now + next.set.DownMillis
+			down[a.Machine] = next.now + next.set.MaintenanceMillis
 			next.HandleOutcome(a, Outcome{Answer: AnswerDone}, next.now)
 		}
 		n := 0
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -22,8 +22,8 @@
 	// TakeoverDelayMillis is how long a new leader orders no maintenance, so that two
 	// leaders do not give orders for a machine in turns.
 	TakeoverDelayMillis clock.Millis
-	// DownMillis is how long the maintenance of a machine takes.
-	DownMillis clock.Millis
+	// MaintenanceMillis is how long the maintenance of a machine takes.
+	MaintenanceMillis clock.Millis
 	// SurgeMillis is the time within which the waiting work of a pool is to be
 	// started; machines are moved to a pool that needs longer. 0 turns moves
 	// off.
@@ -47,7 +47,7 @@
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
-		TakeoverDelayMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
+		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
 		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
 	}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -95,9 +95,9 @@
 		}
 		w := b.machines[m]
 		back := w != nil && a.life != 0 && w.life != a.life
-		most := 2 * b.set.DownMillis
+		most := 2 * b.set.MaintenanceMillis
 		if a.life != 0 {
-			most += b.set.DownMillis
+			most += b.set.MaintenanceMillis
 		}
 		if back || now >= max(a.from, b.began)+most {
 			delete(v.away, m)
@@ -161,7 +161,7 @@
 // to end in time.
 func (b *Scheduler[O, J]) pace(v *wave, now clock.Millis) int {
 	left := clock.Millis(len(v.Machines) - len(v.Started))
-	each := b.set.DownMillis + b.set.MaxHoldMillis
+	each := b.set.MaintenanceMillis + b.set.MaxHoldMillis
 	time := max(v.Deadline-marginMillis-now, each)
 	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.MaxDown)))
 }
@@ -269,7 +269,7 @@
 // running tasks are ended.
 func (b *Scheduler[O, J]) late(v *wave, now clock.Millis) bool {
 	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
-	return now+clock.Millis(rounds)*(b.set.DownMillis+b.set.MaxHoldMillis) > v.Deadline
+	return now+clock.Millis(rounds)*(b.set.MaintenanceMillis+b.set.MaxHoldMillis) > v.Deadline
 }
 
 func (b *Scheduler[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
