--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -116,7 +116,7 @@
 func start(t *testing.T, g *fakeGroup) *testRunner {
 	t.Helper()
 	set := sched.Defaults()
-	set.SurgeMillis = 0
+	set.BacklogTargetMillis = 0
 	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: "c1", Group: g, Judge: place.PeerComparison{MinScore: 3}, Settings: set, Clock: clock.Real(),
 	})
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -119,7 +119,7 @@
 // onTime plays a load with an order and counts the jobs that end in time.
 func onTime[O RankPolicy](order O, all []arrival) int {
 	set := Defaults()
-	set.SurgeMillis = 0
+	set.BacklogTargetMillis = 0
 	const start = 100_000
 	base := newRig(set)
 	b := New(set, order, place.PeerComparison{MinScore: 3}, base.State, start)
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -85,7 +85,7 @@
 // off. It answers loads that rise to several times their mean for seconds, by
 // turns, while a move takes about a second and a half.
 func (b *Scheduler[O, J]) surge(now clock.Millis) {
-	if b.set.SurgeMillis == 0 || now < b.fleet.next || now < b.began+b.set.TakeoverDelayMillis {
+	if b.set.BacklogTargetMillis == 0 || now < b.fleet.next || now < b.began+b.set.TakeoverDelayMillis {
 		return
 	}
 	b.fleet.next = now + surgePeriod
@@ -234,7 +234,7 @@
 			d.have--
 			continue
 		}
-		busy[w.pool] += w.load(now, b.set.SurgeMillis)
+		busy[w.pool] += w.load(now, b.set.BacklogTargetMillis)
 		if len(w.runs)+len(w.strays) == 0 {
 			if w.idle == 0 {
 				w.idle = now
@@ -260,7 +260,7 @@
 	for name, d := range by {
 		p := b.pool(name)
 		p.average()
-		need := int(busy[name] + p.work()/b.set.SurgeMillis + clock.Millis(p.rate))
+		need := int(busy[name] + p.work()/b.set.BacklogTargetMillis + clock.Millis(p.rate))
 		d.want = (need + each - 1) / each
 		if n := b.pool(name).unplaced(now); n > 0 {
 			d.want = max(d.want, d.have+n)
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -24,10 +24,10 @@
 	TakeoverDelayMillis clock.Millis
 	// MaintenanceMillis is how long the maintenance of a machine takes.
 	MaintenanceMillis clock.Millis
-	// SurgeMillis is the time within which the waiting work of a pool is to be
+	// BacklogTargetMillis is the time within which the waiting work of a pool is to be
 	// started; machines are moved to a pool that needs longer. 0 turns moves
 	// off.
-	SurgeMillis clock.Millis
+	BacklogTargetMillis clock.Millis
 	// MoveMillis is how long a move of a machine takes.
 	MoveMillis clock.Millis
 	// IdleMillis is how long a machine runs nothing before it goes to the
@@ -48,7 +48,7 @@
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
 		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
-		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
+		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
 	}
 }
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -111,7 +111,7 @@
 		r: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
 		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, born: 1, set: Defaults(),
 	}
-	w.set.SurgeMillis = 0
+	w.set.BacklogTargetMillis = 0
 	w.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p", AdmissionControl: true}},
 		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
