--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -58,7 +58,7 @@
 		if now-r.moved > b.set.StallMillis+r.step.Estimate/4 {
 			b.stop(w, r, "it makes no progress")
 			w.weight = max(w.weight, b.judge.Threshold()/2)
-			w.aside = max(w.aside, now+b.set.AsideMillis)
+			w.aside = max(w.aside, now+b.set.QuarantineMillis)
 		}
 	}
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -35,9 +35,9 @@
 	IdleMillis clock.Millis
 	// Reserve is the number of machines beyond its need that a pool keeps.
 	Reserve int
-	// AsideMillis is how long a worker that fails its tasks gets no others
+	// QuarantineMillis is how long a worker that fails its tasks gets no others
 	// before it is tried again.
-	AsideMillis clock.Millis
+	QuarantineMillis clock.Millis
 	// StallMillis is how long a task may make no progress before it is started
 	// elsewhere.
 	StallMillis clock.Millis
@@ -47,7 +47,7 @@
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
-		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
+		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second,
 		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
 		StallMillis: 1500,
 	}
