--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -46,7 +46,7 @@
 // spend pays for a retry, or credits the budget for a first try.
 func (d *Dispatcher[P, Q, L]) spend(line *admit.Queue[*ask], r *Request) admit.Reason {
 	if !r.Retry {
-		line.Customer.Credit()
+		line.Customer.AddRetryCredit()
 		return admit.ReasonNone
 	}
 	if !line.Customer.Retry() {
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -245,7 +245,7 @@
 		for _, retry := range rapid.SliceOf(rapid.Bool()).Draw(t, "retry") {
 			if !retry {
 				tries++
-				a.Credit()
+				a.AddRetryCredit()
 			} else if a.Retry() {
 				retries++
 			}
--- a/core/state/admit/retry.go
+++ b/core/state/admit/retry.go
@@ -4,8 +4,8 @@
 // quiet time does not allow a burst of them.
 const retryBurst = 10
 
-// Credit adds the part of a retry that a first try earns.
-func (a *CustomerState[R]) Credit() {
+// AddRetryCredit adds the part of a retry that a first try earns.
+func (a *CustomerState[R]) AddRetryCredit() {
 	a.RetryTokens = min(a.RetryTokens+float64(a.Limit.RetryPercent)/100, retryBurst)
 }
 
