--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -49,7 +49,7 @@
 		line.Customer.AddRetryCredit()
 		return admit.ReasonNone
 	}
-	if !line.Customer.Retry() {
+	if !line.Customer.TakeRetry() {
 		return admit.ReasonRetry
 	}
 	d.counts.Retries++
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -246,7 +246,7 @@
 			if !retry {
 				tries++
 				a.AddRetryCredit()
-			} else if a.Retry() {
+			} else if a.TakeRetry() {
 				retries++
 			}
 			assert.Assert(t, float64(retries) <= 1+float64(tries*percent)/100)
--- a/core/state/admit/retry.go
+++ b/core/state/admit/retry.go
@@ -9,8 +9,8 @@
 	a.RetryTokens = min(a.RetryTokens+float64(a.Limit.RetryPercent)/100, retryBurst)
 }
 
-// Retry takes one retry from the budget, or reports that it is spent.
-func (a *CustomerState[R]) Retry() bool {
+// TakeRetry takes one retry from the budget, or reports that it is spent.
+func (a *CustomerState[R]) TakeRetry() bool {
 	if a.Limit.RetryPercent <= 0 || a.RetryTokens < 1 {
 		return false
 	}
