--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -18,7 +18,7 @@
 		d.refuse(a, Refusal{Kind: RefusalNotReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
 		return
 	}
-	line, why := d.gate.Line(r.Customer, r.Pool)
+	line, why := d.gate.Queue(r.Customer, r.Pool)
 	if why == admit.ReasonNone {
 		why = d.spend(line, r)
 	}
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -100,7 +100,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"ask": func(t *rapid.T) {
 				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
-				l, why := w.g.Line(c, "p")
+				l, why := w.g.Queue(c, "p")
 				if why != ReasonNone {
 					assert.Equal(t, why, ReasonShare)
 					return
@@ -161,7 +161,7 @@
 	g.SetCustomer("a", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightA}, pools)
 	g.SetCustomer("b", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightB}, pools)
 	fill := func(c model.Customer, want int) {
-		l, _ := g.Line(c, "p")
+		l, _ := g.Queue(c, "p")
 		for l.Len() < want {
 			if _, why := g.Join(0, 1<<40, l, 1, c); why != ReasonNone {
 				panic(why)
@@ -199,7 +199,7 @@
 func TestDeadlineDecidesAtTheDoor(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Line("a", "p")
+	l, _ := g.Queue("a", "p")
 	g.Start(l)
 	g.End(l, 100)
 	// Two slots at 100 ms: a place in the queue every 50 ms, and an eighth more.
@@ -220,7 +220,7 @@
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Line("a", "p")
+	l, _ := g.Queue("a", "p")
 	for k := range 1000 {
 		g.Start(l)
 		elapsed := clock.Millis(10)
@@ -260,12 +260,12 @@
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
 	g.SetCustomer("a", Limit{MaxInFlight: 2, MaxQueued: 2}, pools)
-	l, _ := g.Line("a", "p")
+	l, _ := g.Queue("a", "p")
 	g.Start(l)
 	_, why := g.Join(0, 100, l, 1, 7)
 	assert.Equal(t, why, ReasonNone)
 	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
-	_, why = g.Line("a", "p")
+	_, why = g.Queue("a", "p")
 	assert.Equal(t, why, ReasonContract)
 	g.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
 	assert.Equal(t, g.Account("a").Running, 1)
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -195,9 +195,9 @@
 	return h
 }
 
-// Line finds the line of a customer in a pool, or the reason why the request
+// Queue finds the line of a customer in a pool, or the reason why the request
 // can never run in this process.
-func (g *Controller[P, R]) Line(c model.Customer, p model.Pool) (*Queue[R], Reason) {
+func (g *Controller[P, R]) Queue(c model.Customer, p model.Pool) (*Queue[R], Reason) {
 	a := g.customers[c]
 	if a == nil || a.removed {
 		return nil, ReasonContract
