--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -240,7 +240,7 @@
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
 		g := New[WeightedFair, int](WeightedFair{})
 		g.SetCustomer("a", Limit{MaxInFlight: 1, RetryPercent: percent}, nil)
-		a := g.Account("a")
+		a := g.Customer("a")
 		tries, retries := 0, 0
 		for _, retry := range rapid.SliceOf(rapid.Bool()).Draw(t, "retry") {
 			if !retry {
@@ -268,8 +268,8 @@
 	_, why = g.Queue("a", "p")
 	assert.Equal(t, why, ReasonContract)
 	g.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
-	assert.Equal(t, g.Account("a").Running, 1)
+	assert.Equal(t, g.Customer("a").Running, 1)
 	g.RemoveCustomer("a")
 	g.End(l, 1)
-	assert.Assert(t, g.Account("a") == nil)
+	assert.Assert(t, g.Customer("a") == nil)
 }
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -212,8 +212,8 @@
 	return l, ReasonNone
 }
 
-// Account returns the state of a customer; nil when it is not known.
-func (g *Controller[P, R]) Account(c model.Customer) *CustomerState[R] { return g.customers[c] }
+// Customer returns the state of a customer; nil when it is not known.
+func (g *Controller[P, R]) Customer(c model.Customer) *CustomerState[R] { return g.customers[c] }
 
 // Each calls f for every customer.
 func (g *Controller[P, R]) Each(f func(*CustomerState[R])) {
