--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -125,7 +125,7 @@
 		d.counts.Strays++
 		return
 	}
-	d.counts.Dones++
+	d.counts.Completed++
 	f := d.flights[at]
 	d.flights[at].line, d.flights[at].place, d.flights[at].id = nil, place{}, ""
 	d.free = append(d.free, at)
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -111,7 +111,7 @@
 		})
 	}
 	wg.Wait()
-	until(t, "all ended", func(s Status) bool { return s.Counts.Dones == s.Counts.Grants }, d)
+	until(t, "all ended", func(s Status) bool { return s.Counts.Completed == s.Counts.Grants }, d)
 	s := d.Snapshot()
 	assert.Equal(t, s.Customers[0].Running+s.Customers[0].Waiting, 0)
 	for _, u := range s.Upstreams {
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -95,10 +95,10 @@
 	t.Helper()
 	var s entry.Status
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if s = g.gate.Snapshot(); s.Counts.Dones == s.Counts.Grants {
+		if s = g.gate.Snapshot(); s.Counts.Completed == s.Counts.Grants {
 			return poll.Success()
 		}
-		return poll.Continue("%d of %d grants are back", s.Counts.Dones, s.Counts.Grants)
+		return poll.Continue("%d of %d grants are back", s.Counts.Completed, s.Counts.Grants)
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
 	return s
 }
