--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -122,7 +122,7 @@
 func (d *Dispatcher[P, Q, L]) end(now clock.Millis, m message) {
 	at, number := uint32(m.ticket), uint32(m.ticket>>32)
 	if int(at) >= len(d.flights) || d.flights[at].number != number || d.flights[at].line == nil {
-		d.counts.Strays++
+		d.counts.UnknownTickets++
 		return
 	}
 	d.counts.Completed++
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -92,7 +92,7 @@
 	assert.Equal(t, third.Upstream, first.Upstream)
 	// A second Done for a ticket changes nothing.
 	d.Done(first.Ticket, OutcomeOK, 1)
-	until(t, "stray", func(s Status) bool { return s.Counts.Strays == 1 && s.Customers[0].Running == 2 }, d)
+	until(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
 }
 
 // Guards against slots that are lost when callers give up at any moment.
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -143,7 +143,7 @@
 
 // Counts are the counters of a dispatcher; they only grow.
 type Counts struct {
-	Requests, Grants, Queued, Refused, Cancelled, Expired, Completed, Strays, Retries int64
+	Requests, Grants, Queued, Refused, Cancelled, Expired, Completed, UnknownTickets, Retries int64
 	// RingFull is the number of asks that the full ring turned away.
 	RingFull int64
 	// Ejections is the number of ejections of upstreams.
