--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -391,7 +391,7 @@
 		}
 		p := r.Pass(r.now)
 		if moves := actions(p, ActionMove); len(moves) > 0 {
-			assert.Equal(t, len(moves), 4-r.set.Reserve)
+			assert.Equal(t, len(moves), 4-r.set.ReserveMachines)
 			assert.Equal(t, moves[0].Pool, jobs.PoolName("off"))
 			return
 		}
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -361,7 +361,7 @@
 	}
 	for i := len(loads) - 1; i >= 0; i-- {
 		from := loads[i]
-		if from == d || from.have-from.want <= b.set.Reserve {
+		if from == d || from.have-from.want <= b.set.ReserveMachines {
 			continue
 		}
 		for k, w := range from.idle {
@@ -384,7 +384,7 @@
 func (b *Scheduler[O, J]) part(loads []*demand, lack int) {
 	for i := len(loads) - 1; i >= 0; i-- {
 		d := loads[i]
-		spare := d.have - d.want - b.set.Reserve
+		spare := d.have - d.want - b.set.ReserveMachines
 		for _, w := range d.busy {
 			w.parting = lack > 0 && spare > 0
 			b.dirty[b.pool(w.pool)] = true
@@ -401,7 +401,7 @@
 	off := &demand{name: standby}
 	for _, d := range loads {
 		for _, w := range d.idle {
-			if w.leaving || w.machine == "" || d.have-d.want <= b.set.Reserve || now-w.idle < b.set.IdleMillis || b.fleet.spent[w.machine] > now {
+			if w.leaving || w.machine == "" || d.have-d.want <= b.set.ReserveMachines || now-w.idle < b.set.IdleMillis || b.fleet.spent[w.machine] > now {
 				continue
 			}
 			d.have--
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -33,8 +33,8 @@
 	// IdleMillis is how long a machine runs nothing before it goes to the
 	// standby pool.
 	IdleMillis clock.Millis
-	// Reserve is the number of machines beyond its need that a pool keeps.
-	Reserve int
+	// ReserveMachines is the number of machines beyond its need that a pool keeps.
+	ReserveMachines int
 	// QuarantineMillis is how long a worker that fails its tasks gets no others
 	// before it is tried again.
 	QuarantineMillis clock.Millis
@@ -48,7 +48,7 @@
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
 		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second,
-		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
+		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, ReserveMachines: 2,
 		StallMillis: 1500,
 	}
 }
