--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -95,7 +95,7 @@
 			return
 		}
 		w.Ref.waiter = nil
-		d.grant(w.Ref, w.Line(), h)
+		d.grant(w.Ref, w.Queue(), h)
 	}
 }
 
@@ -166,7 +166,7 @@
 	if a.waiter == nil {
 		return
 	}
-	a.waiter.Line().Leave(a.waiter)
+	a.waiter.Queue().Leave(a.waiter)
 	d.counts.Cancelled++
 	d.refuse(a, Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"})
 }
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -77,8 +77,8 @@
 		assert.Assert(t, wt.Deadline > w.now, "an expired waiter was run")
 		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
 		delete(w.waiting, wt.Ref)
-		w.lines = append(w.lines, wt.Line())
-		w.running[wt.Line().Customer.Name]++
+		w.lines = append(w.lines, wt.Queue())
+		w.running[wt.Queue().Customer.Name]++
 	}
 }
 
@@ -130,7 +130,7 @@
 			},
 			"cancel": func(t *rapid.T) {
 				for id, wt := range w.waiting {
-					wt.Line().Leave(wt)
+					wt.Queue().Leave(wt)
 					delete(w.waiting, id)
 					return
 				}
@@ -172,7 +172,7 @@
 		fill("a", 500)
 		fill("b", 5)
 		w, _ := g.Next(1, "p", nil)
-		g.End(w.Line(), -1)
+		g.End(w.Queue(), -1)
 		if w.Ref == "a" {
 			a++
 		} else {
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -29,8 +29,8 @@
 	prev, next *Waiter[R]
 }
 
-// Line returns the line that the waiter stood in.
-func (w *Waiter[R]) Line() *Queue[R] { return w.line }
+// Queue returns the line that the waiter stood in.
+func (w *Waiter[R]) Queue() *Queue[R] { return w.line }
 
 // CanRun reports whether the customer is below its share.
 func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.MaxInFlight }
