--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -69,7 +69,7 @@
 		return
 	}
 	room := max(d.room(now, r.Pool), 1)
-	w, why := d.gate.Join(now, r.Deadline, line, room, a)
+	w, why := d.gate.Enqueue(now, r.Deadline, line, room, a)
 	if why != admit.ReasonNone {
 		f := d.refusal(why, r.Pool)
 		f.RetryAfter = max(line.Wait(room), d.gate.Typical(r.Pool), 1)
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -112,7 +112,7 @@
 					return
 				}
 				w.next++
-				wt, why := w.g.Join(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
+				wt, why := w.g.Enqueue(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
 				if why == ReasonNone {
 					w.waiting[w.next] = wt
 				}
@@ -163,7 +163,7 @@
 	fill := func(c model.Customer, want int) {
 		l, _ := g.Queue(c, "p")
 		for l.Len() < want {
-			if _, why := g.Join(0, 1<<40, l, 1, c); why != ReasonNone {
+			if _, why := g.Enqueue(0, 1<<40, l, 1, c); why != ReasonNone {
 				panic(why)
 			}
 		}
@@ -205,9 +205,9 @@
 	// Two slots at 100 ms: a place in the queue every 50 ms, and an eighth more.
 	for k := range 4 {
 		need := clock.Millis(50*(k+1)*9/8 + 100)
-		_, why := g.Join(0, need, l, 2, k)
+		_, why := g.Enqueue(0, need, l, 2, k)
 		assert.Equal(t, why, ReasonDeadline)
-		_, why = g.Join(0, need+1, l, 2, k)
+		_, why = g.Enqueue(0, need+1, l, 2, k)
 		assert.Equal(t, why, ReasonNone)
 	}
 	// At 60 ms the first waiter, due at 157, can no longer end in time.
@@ -230,7 +230,7 @@
 		g.End(l, elapsed)
 	}
 	assert.Assert(t, l.hall.needs() < 50, "%d", l.hall.needs())
-	_, why := g.Join(0, 200, l, 32, 1)
+	_, why := g.Enqueue(0, 200, l, 32, 1)
 	assert.Equal(t, why, ReasonNone)
 }
 
@@ -262,7 +262,7 @@
 	g.SetCustomer("a", Limit{MaxInFlight: 2, MaxQueued: 2}, pools)
 	l, _ := g.Queue("a", "p")
 	g.Start(l)
-	_, why := g.Join(0, 100, l, 1, 7)
+	_, why := g.Enqueue(0, 100, l, 1, 7)
 	assert.Equal(t, why, ReasonNone)
 	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
 	_, why = g.Queue("a", "p")
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -255,10 +255,10 @@
 	return 0
 }
 
-// Join queues a request. slots is the number of requests that the pool runs
+// Enqueue queues a request. slots is the number of requests that the pool runs
 // at once. The request is refused when the customer's queue is full, or when
 // the expected wait and run time reach beyond the deadline.
-func (g *Controller[P, R]) Join(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
+func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
 	if l.Customer.Waiting >= l.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
 	}
