--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -33,7 +33,7 @@
 	}
 	// While others wait that could run, the newcomer joins the queue, so that
 	// the choice stays fair.
-	if line.CanRun() && line.Len() == 0 && !d.gate.Waits(r.Pool) {
+	if line.CanRun() && line.Len() == 0 && !d.gate.HasRunnable(r.Pool) {
 		if h, ok := d.pick(now, r.Pool, r.Avoid); ok {
 			d.gate.Start(line)
 			d.grant(a, line, h)
@@ -82,7 +82,7 @@
 
 // pump starts waiters of a pool while upstreams have room.
 func (d *Dispatcher[P, Q, L]) pump(now clock.Millis, p model.Pool) {
-	for d.gate.Waits(p) {
+	for d.gate.HasRunnable(p) {
 		h, ok := d.pick(now, p, "")
 		if !ok {
 			return
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -71,7 +71,7 @@
 		wt, late := w.g.Next(w.now, "p", nil)
 		w.drop(late)
 		if wt == nil {
-			assert.Assert(t, !w.g.Waits("p"), "a waiter that may run was not chosen")
+			assert.Assert(t, !w.g.HasRunnable("p"), "a waiter that may run was not chosen")
 			return
 		}
 		assert.Assert(t, wt.Deadline > w.now, "an expired waiter was run")
@@ -105,7 +105,7 @@
 					assert.Equal(t, why, ReasonShare)
 					return
 				}
-				if l.CanRun() && l.Len() == 0 && !w.g.Waits("p") && w.inFlight() < w.slots {
+				if l.CanRun() && l.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
 					w.g.Start(l)
 					w.lines = append(w.lines, l)
 					w.running[c]++
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -273,8 +273,8 @@
 	return w, ReasonNone
 }
 
-// Waits reports whether a pool has a waiter whose customer may run now.
-func (g *Controller[P, R]) Waits(p model.Pool) bool {
+// HasRunnable reports whether a pool has a waiter whose customer may run now.
+func (g *Controller[P, R]) HasRunnable(p model.Pool) bool {
 	h := g.pools[p]
 	if h == nil {
 		return false
