--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -100,7 +100,7 @@
 // customers and upstreams.
 func (d *Dispatcher[P, Q, L]) Snapshot() Status {
 	s := d.call(&command{op: opStatus}).status
-	s.Counts.RingFull = d.in.Refused()
+	s.Counts.RingRefused = d.in.Refused()
 	return s
 }
 
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -144,8 +144,8 @@
 // Counts are the counters of a dispatcher; they only grow.
 type Counts struct {
 	Requests, Grants, Queued, Refused, Cancelled, Expired, Completed, UnknownTickets, Retries int64
-	// RingFull is the number of asks that the full ring turned away.
-	RingFull int64
+	// RingRefused is the number of asks that the full ring turned away.
+	RingRefused int64
 	// Ejections is the number of ejections of upstreams.
 	Ejections int64
 }
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -291,7 +291,7 @@
 		{"requests-duplicate", func() int64 { return e.front.Counts().Duplicate }},
 		{"requests-aborted", func() int64 { return e.front.Counts().Aborted }},
 		{"requests-retried", func() int64 { return e.front.Counts().Retries }},
-		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingFull }},
+		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingRefused }},
 		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
 		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
 		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
