--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// DefaultRing holds one message of each connection of a busy process.
-	DefaultRing = 4096
+	// DefaultRingSize holds one message of each connection of a busy process.
+	DefaultRingSize = 4096
 	// batch is the number of messages handled under one reading of the clock.
 	batch = 64
 	// tickEvery bounds how late an expired waiter is answered.
@@ -121,7 +121,7 @@
 // New returns a dispatcher that is not running yet.
 func New[P admit.Picker, Q route.Policy, L lend.Policy](cfg Settings, clk clock.Clock, picker P, policy Q, lending L) *Dispatcher[P, Q, L] {
 	if cfg.Ring <= 0 {
-		cfg.Ring = DefaultRing
+		cfg.Ring = DefaultRingSize
 	}
 	var all, near []model.Process
 	for _, m := range cfg.Entries {
