--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -120,8 +120,8 @@
 
 // New returns a dispatcher that is not running yet.
 func New[P admit.Picker, Q route.Policy, L lend.Policy](cfg Settings, clk clock.Clock, picker P, policy Q, lending L) *Dispatcher[P, Q, L] {
-	if cfg.Ring <= 0 {
-		cfg.Ring = DefaultRingSize
+	if cfg.RingSize <= 0 {
+		cfg.RingSize = DefaultRingSize
 	}
 	var all, near []model.Process
 	for _, m := range cfg.Entries {
@@ -133,7 +133,7 @@
 	d := &Dispatcher[P, Q, L]{
 		cfg:       cfg,
 		clk:       clk,
-		in:        ring.New[message](cfg.Ring),
+		in:        ring.New[message](cfg.RingSize),
 		done:      make(chan struct{}),
 		gate:      admit.New[P, *ask](picker),
 		felt:      newTally(),
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -176,7 +176,7 @@
 
 // Guards against a full ring that blocks callers or is not told.
 func TestFullRingRefuses(t *testing.T) {
-	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
+	d := New(Settings{Self: "e1", Zone: "z1", RingSize: 2}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
 		assert.Assert(t, d.in.TryPut(message{kind: messageDone}))
 	}
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -47,8 +47,8 @@
 	// Entries are the configured entry processes of all zones, this one
 	// included.
 	Entries []model.Member
-	// Ring is the number of messages that may wait; 0 means DefaultRing.
-	Ring int
+	// RingSize is the number of messages that may wait; 0 means DefaultRing.
+	RingSize int
 	// Lease is the lease of an announcement; 0 means member.DefaultLease.
 	Lease clock.Millis
 	// Events receives the events of the time line; nil drops them.
