--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -153,22 +153,22 @@
 
 // Config are what a runner works with.
 type Config[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
-	Name     string
-	Group    G
-	Machines M
-	Order    O
-	Judge    J
-	Settings sched.Settings
-	Clock    clock.Clock
-	Notes    func([]sched.Note)
-	Observe  func(clock.Millis)
+	Name          string
+	Group         G
+	Machines      M
+	Order         O
+	Judge         J
+	Settings      sched.Settings
+	Clock         clock.Clock
+	Notes         func([]sched.Note)
+	ObserveCommit func(clock.Millis)
 }
 
 // New returns a runner; Run must be called for it to do anything.
 func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
 		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Order, judge: p.Judge, set: p.Settings,
-		clock: p.Clock, notes: p.Notes, observe: p.Observe,
+		clock: p.Clock, notes: p.Notes, observe: p.ObserveCommit,
 		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[action](actionRing),
 		done: make(chan struct{}), ended: make(chan struct{}), waiters: map[jobs.WorkerID]waiter{},
 	}
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -68,7 +68,7 @@
 	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestDeadline{},
 		Judge: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
-		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
+		ObserveCommit: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
 	c.member.changed = c.work.Wake
 	service := JobsService{Runner: c.work, Leader: c.knownLeader, Log: c.log}
