--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -94,7 +94,7 @@
 	Entries  []model.Member
 	Group    G
 	Platform P
-	Board    *WavePlanner[C, J]
+	Waves    *WavePlanner[C, J]
 	Capacity *CapacityPlanner[A, S]
 	Clock    clock.Clock
 	// Events takes the events of the time line; it must not wait.
@@ -123,7 +123,7 @@
 	m.felt = newFeeling()
 	m.outage = model.Outage{}
 	m.began = m.Clock.Now()
-	m.Board.Reset(nil)
+	m.Waves.Reset(nil)
 	m.Capacity.Reset()
 	m.rebooted = map[model.InstanceID]clock.Millis{}
 	m.waits = nil
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -74,7 +74,7 @@
 	board := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
 	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurgePlanner(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New(testParts{
-		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Board: board,
+		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Waves: board,
 		Capacity: capacity, Clock: clk.Clock(), Events: func(e model.Event) {
 			e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
 			w.events = append(w.events, e)
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -41,7 +41,7 @@
 	m.seeZones(now)
 	m.seeUnderWay()
 	m.seeFelt(now)
-	plan := m.Board.Pass(now)
+	plan := m.Waves.Pass(now)
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
 	if now-m.began >= warmUp {
@@ -88,7 +88,7 @@
 		m.outage = c.Outages[len(c.Outages)-1]
 	}
 	m.registry.Gone = c.Gone
-	m.Board.Follow(c)
+	m.Waves.Follow(c)
 	m.Capacity.Follow(c.Delta)
 	for _, i := range c.Delta.Instances {
 		m.note(i, now)
@@ -122,7 +122,7 @@
 		return
 	}
 	m.seen[id] = s
-	m.Board.See(id, s)
+	m.Waves.See(id, s)
 }
 
 // seeZones counts the instances of zones that fell silent as lost, without
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -135,7 +135,7 @@
 	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
 		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
-		Board: board, Capacity: capacity, Clock: clk, Events: c.record,
+		Waves: board, Capacity: capacity, Clock: clk, Events: c.record,
 	})
 	return c, nil
 }
