--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -84,12 +84,12 @@
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
-	assert.Assert(t, g.Upstream.Loan != "" && g.Upstream.WriteDeadline == 1<<60)
+	assert.Assert(t, g.Upstream.LoanName != "" && g.Upstream.WriteDeadline == 1<<60)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	assert.DeepEqual(t, nextOrder(orders, lend.MessageReturn).CloseConnections, []string{g.Upstream.Loan})
+	assert.DeepEqual(t, nextOrder(orders, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
 }
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -84,9 +84,9 @@
 	HealthPath  string
 	// Connections is this process's share; at least 1.
 	Connections int
-	// Loan names the loan that the slot belongs to; empty for the own share.
+	// LoanName names the loan that the slot belongs to; empty for the own share.
 	// The connections of each loan are apart from all others.
-	Loan string
+	LoanName string
 	// WriteDeadline is the time from which no byte of the request may be written; 0 for
 	// a slot of the own share.
 	WriteDeadline clock.Millis
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -30,8 +30,8 @@
 		Name: string(g.Upstream.Instance), Until: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
 		Connections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
 	}
-	if g.Upstream.Loan != "" {
-		up.Name = g.Upstream.Loan
+	if g.Upstream.LoanName != "" {
+		up.Name = g.Upstream.LoanName
 	}
 	resp, res, err := f.link.Do(x.ctx, up, f.outgoing(x, body))
 	if err != nil {
