--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -13,7 +13,7 @@
 
 // The limits, in the order in which they are looked at.
 const (
-	LimitNone Limit = ""
+	WaitNone Limit = ""
 	// LimitTime: the occurrence is not due.
 	LimitTime Limit = "not-due"
 	// LimitSteps: an earlier step is not done.
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -47,7 +47,7 @@
 		{name: "room", steps: []jobs.Step{wide}, want: LimitRoom},
 		{name: "room for a part of a gang", steps: []jobs.Step{gang}, want: LimitGang},
 		{name: "earlier step", steps: []jobs.Step{small, second}, step: 1, want: LimitSteps},
-		{name: "nothing waits", steps: []jobs.Step{small}, want: LimitNone},
+		{name: "nothing waits", steps: []jobs.Step{small}, want: WaitNone},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(Defaults())
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -66,7 +66,7 @@
 	var why []string
 	for _, s := range r.Steps {
 		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.WaitReason)
-		if s.WaitReason != sched.LimitNone {
+		if s.WaitReason != sched.WaitNone {
 			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.WaitReason)))
 		}
 	}
