--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -14,8 +14,8 @@
 // The limits, in the order in which they are looked at.
 const (
 	WaitNone Limit = ""
-	// LimitTime: the occurrence is not due.
-	LimitTime Limit = "not-due"
+	// WaitNotDue: the occurrence is not due.
+	WaitNotDue Limit = "not-due"
 	// LimitSteps: an earlier step is not done.
 	LimitSteps Limit = "earlier-steps"
 	// LimitWorkers: the pool has no worker that was heard lately.
@@ -144,7 +144,7 @@
 	switch {
 	case x.Waiting == 0 || r.Status.Final():
 	case r.Due(k) > now:
-		x.WaitReason = LimitTime
+		x.WaitReason = WaitNotDue
 	case !r.Ready(k, i):
 		x.WaitReason = LimitSteps
 	default:
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -11,7 +11,7 @@
 
 // limitTexts says what each limit on waiting tasks means, and what would help.
 var limitTexts = map[sched.Limit]string{
-	sched.LimitTime:      "the occurrence is not due yet",
+	sched.WaitNotDue:     "the occurrence is not due yet",
 	sched.LimitSteps:     "an earlier step is not done",
 	sched.LimitWorkers:   "no worker of the pool was heard lately: add machines to the pool or start their workers",
 	sched.LimitLabel:     "no worker of the pool has the required label: add such a machine",
