--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -16,8 +16,8 @@
 	WaitNone Limit = ""
 	// WaitNotDue: the occurrence is not due.
 	WaitNotDue Limit = "not-due"
-	// LimitSteps: an earlier step is not done.
-	LimitSteps Limit = "earlier-steps"
+	// WaitDependencies: an earlier step is not done.
+	WaitDependencies Limit = "earlier-steps"
 	// LimitWorkers: the pool has no worker that was heard lately.
 	LimitWorkers Limit = "no-workers"
 	// LimitLabel: no worker has the required label.
@@ -146,7 +146,7 @@
 	case r.Due(k) > now:
 		x.WaitReason = WaitNotDue
 	case !r.Ready(k, i):
-		x.WaitReason = LimitSteps
+		x.WaitReason = WaitDependencies
 	default:
 		x.WaitReason = b.limitOf(r, k, i, now)
 	}
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -46,7 +46,7 @@
 		{name: "one on each worker", steps: []jobs.Step{apart}, want: LimitPerWorker},
 		{name: "room", steps: []jobs.Step{wide}, want: LimitRoom},
 		{name: "room for a part of a gang", steps: []jobs.Step{gang}, want: LimitGang},
-		{name: "earlier step", steps: []jobs.Step{small, second}, step: 1, want: LimitSteps},
+		{name: "earlier step", steps: []jobs.Step{small, second}, step: 1, want: WaitDependencies},
 		{name: "nothing waits", steps: []jobs.Step{small}, want: WaitNone},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -11,18 +11,18 @@
 
 // limitTexts says what each limit on waiting tasks means, and what would help.
 var limitTexts = map[sched.Limit]string{
-	sched.WaitNotDue:     "the occurrence is not due yet",
-	sched.LimitSteps:     "an earlier step is not done",
-	sched.LimitWorkers:   "no worker of the pool was heard lately: add machines to the pool or start their workers",
-	sched.LimitLabel:     "no worker of the pool has the required label: add such a machine",
-	sched.LimitSize:      "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
-	sched.LimitLeaving:   "the workers drain, or their machines are to be maintained or moved: wait, or add machines",
-	sched.LimitAside:     "the workers are set aside because tasks fail on them: repair them, or wait until they are tried again",
-	sched.LimitAdvice:    "the advice service has not named a worker: look for advice lines in the leader's log",
-	sched.LimitPerWorker: "each worker runs as many tasks of the step as it may: add machines",
-	sched.LimitRoom:      "other tasks take the workers' room: wait, or add machines",
-	sched.LimitGang:      "there is room for some tasks of the gang and not for all: wait, or add machines",
-	sched.LimitHeartbeat: "a worker may take a task at its next heartbeat",
+	sched.WaitNotDue:       "the occurrence is not due yet",
+	sched.WaitDependencies: "an earlier step is not done",
+	sched.LimitWorkers:     "no worker of the pool was heard lately: add machines to the pool or start their workers",
+	sched.LimitLabel:       "no worker of the pool has the required label: add such a machine",
+	sched.LimitSize:        "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
+	sched.LimitLeaving:     "the workers drain, or their machines are to be maintained or moved: wait, or add machines",
+	sched.LimitAside:       "the workers are set aside because tasks fail on them: repair them, or wait until they are tried again",
+	sched.LimitAdvice:      "the advice service has not named a worker: look for advice lines in the leader's log",
+	sched.LimitPerWorker:   "each worker runs as many tasks of the step as it may: add machines",
+	sched.LimitRoom:        "other tasks take the workers' room: wait, or add machines",
+	sched.LimitGang:        "there is room for some tasks of the gang and not for all: wait, or add machines",
+	sched.LimitHeartbeat:   "a worker may take a task at its next heartbeat",
 }
 
 // JobStatus writes the state of a job.
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -104,7 +104,7 @@
 		Pool:       "log", Now: start,
 		Steps: []sched.StepReport{
 			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Failures: 1, WaitReason: sched.LimitRoom},
-			{Step: 1, Tasks: 2, Waiting: 2, WaitReason: sched.LimitSteps},
+			{Step: 1, Tasks: 2, Waiting: 2, WaitReason: sched.WaitDependencies},
 		},
 		Runs: []sched.RunReport{{
 			Task: jobs.TaskID{Job: "j-1", Index: 2}, Run: 2, Worker: "i-7", Percent: 40, StartedAt: start - 700, StopReason: "it makes no progress",
