--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -18,8 +18,8 @@
 	WaitNotDue Limit = "not-due"
 	// WaitDependencies: an earlier step is not done.
 	WaitDependencies Limit = "earlier-steps"
-	// LimitWorkers: the pool has no worker that was heard lately.
-	LimitWorkers Limit = "no-workers"
+	// WaitNoWorkers: the pool has no worker that was heard lately.
+	WaitNoWorkers Limit = "no-workers"
 	// LimitLabel: no worker has the required label.
 	LimitLabel Limit = "label"
 	// LimitSize: no worker is large enough, even if it ran nothing.
@@ -164,7 +164,7 @@
 		limit Limit
 		holds func(*worker) bool
 	}{
-		{LimitWorkers, func(*worker) bool { return true }},
+		{WaitNoWorkers, func(*worker) bool { return true }},
 		{LimitLabel, func(w *worker) bool { return w.labelled(g) }},
 		{LimitSize, func(w *worker) bool { return need.Fits(w.room) }},
 		{LimitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -28,11 +28,11 @@
 		with func(r *rig)
 		want Limit
 	}{
-		{name: "no workers", steps: []jobs.Step{small}, with: func(*rig) {}, want: LimitWorkers},
+		{name: "no workers", steps: []jobs.Step{small}, with: func(*rig) {}, want: WaitNoWorkers},
 		{name: "silent workers", steps: []jobs.Step{small}, with: func(r *rig) {
 			r.hear("w1", 1, nil)
 			r.now += 2 * r.set.LeaseMillis
-		}, want: LimitWorkers},
+		}, want: WaitNoWorkers},
 		{name: "label", steps: []jobs.Step{labelled}, want: LimitLabel},
 		{name: "size", steps: []jobs.Step{large}, want: LimitSize},
 		{name: "maintenance", steps: []jobs.Step{small}, with: func(r *rig) {
