--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -20,8 +20,8 @@
 	WaitDependencies Limit = "earlier-steps"
 	// WaitNoWorkers: the pool has no worker that was heard lately.
 	WaitNoWorkers Limit = "no-workers"
-	// LimitLabel: no worker has the required label.
-	LimitLabel Limit = "label"
+	// WaitLabel: no worker has the required label.
+	WaitLabel Limit = "label"
 	// LimitSize: no worker is large enough, even if it ran nothing.
 	LimitSize Limit = "size"
 	// LimitLeaving: the workers drain, or their machines are to be maintained or
@@ -165,7 +165,7 @@
 		holds func(*worker) bool
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
-		{LimitLabel, func(w *worker) bool { return w.labelled(g) }},
+		{WaitLabel, func(w *worker) bool { return w.labelled(g) }},
 		{LimitSize, func(w *worker) bool { return need.Fits(w.room) }},
 		{LimitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
 		{LimitAside, func(w *worker) bool { return w.aside <= now }},
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -33,7 +33,7 @@
 			r.hear("w1", 1, nil)
 			r.now += 2 * r.set.LeaseMillis
 		}, want: WaitNoWorkers},
-		{name: "label", steps: []jobs.Step{labelled}, want: LimitLabel},
+		{name: "label", steps: []jobs.Step{labelled}, want: WaitLabel},
 		{name: "size", steps: []jobs.Step{large}, want: LimitSize},
 		{name: "maintenance", steps: []jobs.Step{small}, with: func(r *rig) {
 			r.hear("w1", 1, nil)
