--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -11,10 +11,10 @@
 // Lend answers another entry process that asks for slots.
 func (d *Dispatcher[P, Q, L]) Lend(a lend.LoanRequest) (out lend.LoanResponse) {
 	d.onLoans(func(now clock.Millis) {
-		waiting := d.gate.Runnable(a.Pool)
+		waiting := d.gate.RunnableCount(a.Pool)
 		d.stocks = d.router.Stocks(now, a.Pool, waiting, d.stocks[:0])
 		out = d.loans.Grant(now, a, d.stocks, func(id model.InstanceID) (lend.UpstreamSlots, bool) {
-			return d.router.Stock(id, d.gate.Runnable)
+			return d.router.Stock(id, d.gate.RunnableCount)
 		})
 	})
 	return out
@@ -101,7 +101,7 @@
 	d.needs = d.needs[:0]
 	d.pools = d.gate.Waiting(d.pools[:0])
 	for _, p := range d.pools {
-		if n := d.gate.Runnable(p); n > 0 {
+		if n := d.gate.RunnableCount(p); n > 0 {
 			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.spread[p], Pressure: lend.Pressure{
 				Waiting: n, Capacity: d.room(now, p), TypicalRunTime: d.gate.Typical(p),
 			}})
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -287,8 +287,8 @@
 	return false
 }
 
-// Runnable is the number of waiters of a pool whose customers may run now.
-func (g *Controller[P, R]) Runnable(p model.Pool) int {
+// RunnableCount is the number of waiters of a pool whose customers may run now.
+func (g *Controller[P, R]) RunnableCount(p model.Pool) int {
 	h := g.pools[p]
 	if h == nil {
 		return 0
