--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -237,7 +237,7 @@
 // pumpAll starts waiters wherever there is room, and refuses those of pools
 // that lost their last upstream.
 func (d *Dispatcher[P, Q, L]) pumpAll(now clock.Millis) {
-	d.pools = d.gate.Waiting(d.pools[:0])
+	d.pools = d.gate.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
 		if _, slots := d.router.Routable(p); slots == 0 && !d.mayBorrow(now, p) {
 			d.late = d.gate.Clear(p, d.late[:0])
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -99,7 +99,7 @@
 		d.router.Roll()
 	}
 	d.needs = d.needs[:0]
-	d.pools = d.gate.Waiting(d.pools[:0])
+	d.pools = d.gate.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
 		if n := d.gate.RunnableCount(p); n > 0 {
 			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.spread[p], Pressure: lend.Pressure{
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -349,8 +349,8 @@
 	return out
 }
 
-// Waiting appends the pools that have waiters to buf.
-func (g *Controller[P, R]) Waiting(buf []model.Pool) []model.Pool {
+// WaitingPools appends the pools that have waiters to buf.
+func (g *Controller[P, R]) WaitingPools(buf []model.Pool) []model.Pool {
 	for p, h := range g.pools {
 		if len(h.active) > 0 {
 			buf = append(buf, p)
