--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -21,7 +21,7 @@
 	of := func(p model.Pool) *model.PoolDemand {
 		x := byPool[p]
 		if x == nil {
-			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.gate.Typical(p)}
+			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.gate.TypicalRunTime(p)}
 			byPool[p] = x
 		}
 		return x
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -72,7 +72,7 @@
 	w, why := d.gate.Enqueue(now, r.Deadline, line, room, a)
 	if why != admit.ReasonNone {
 		f := d.refusal(why, r.Pool)
-		f.RetryAfter = max(line.Wait(room), d.gate.Typical(r.Pool), 1)
+		f.RetryAfter = max(line.Wait(room), d.gate.TypicalRunTime(r.Pool), 1)
 		d.refuse(a, f)
 		return
 	}
@@ -140,7 +140,7 @@
 	case OutcomeCancelled, OutcomeConnect, OutcomeBusy:
 		elapsed = -1
 	case OutcomeTimeout:
-		if typical := d.gate.Typical(f.line.Pool); elapsed < impatient*typical {
+		if typical := d.gate.TypicalRunTime(f.line.Pool); elapsed < impatient*typical {
 			// The deadline was short; that is not the upstream's failure, and
 			// the run time remains unknown.
 			m.outcome, elapsed = OutcomeCancelled, -1
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -103,7 +103,7 @@
 	for _, p := range d.pools {
 		if n := d.gate.RunnableCount(p); n > 0 {
 			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.spread[p], Pressure: lend.Pressure{
-				Waiting: n, Capacity: d.room(now, p), TypicalRunTime: d.gate.Typical(p),
+				Waiting: n, Capacity: d.room(now, p), TypicalRunTime: d.gate.TypicalRunTime(p),
 			}})
 		}
 	}
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -247,8 +247,8 @@
 	}
 }
 
-// Typical is the smoothed run time of a pool; 0 when it is not known.
-func (g *Controller[P, R]) Typical(p model.Pool) clock.Millis {
+// TypicalRunTime is the smoothed run time of a pool; 0 when it is not known.
+func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
 	if h := g.pools[p]; h != nil {
 		return clock.Millis(h.typical)
 	}
