--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -252,7 +252,7 @@
 		Counts:  d.counts,
 		Loans:   d.loans.Counts,
 	}
-	d.gate.Each(func(a *admit.CustomerState[*ask]) {
+	d.gate.EachCustomer(func(a *admit.CustomerState[*ask]) {
 		s.Customers = append(s.Customers, CustomerStatus{
 			Customer: a.Name, InFlightLimit: a.Limit.MaxInFlight, QueueLimit: a.Limit.MaxQueued,
 			Running: a.Running, Waiting: a.Waiting, RetryTokens: a.RetryTokens,
--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -36,7 +36,7 @@
 			of(h.Pool).Running += h.Running
 		}
 	})
-	d.gate.Each(func(a *admit.CustomerState[*ask]) {
+	d.gate.EachCustomer(func(a *admit.CustomerState[*ask]) {
 		if a.Waiting > 0 {
 			a.EachWaiting(func(p model.Pool, n int) { of(p).Waiting += n })
 		}
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -141,7 +141,7 @@
 			},
 			"": func(t *rapid.T) {
 				waits := 0
-				w.g.Each(func(a *CustomerState[int]) {
+				w.g.EachCustomer(func(a *CustomerState[int]) {
 					assert.Equal(t, a.Running, w.running[a.Name])
 					assert.Assert(t, a.Running <= w.limits[a.Name].MaxInFlight)
 					assert.Assert(t, a.Waiting <= w.limits[a.Name].MaxQueued)
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -215,8 +215,8 @@
 // Customer returns the state of a customer; nil when it is not known.
 func (g *Controller[P, R]) Customer(c model.Customer) *CustomerState[R] { return g.customers[c] }
 
-// Each calls f for every customer.
-func (g *Controller[P, R]) Each(f func(*CustomerState[R])) {
+// EachCustomer calls f for every customer.
+func (g *Controller[P, R]) EachCustomer(f func(*CustomerState[R])) {
 	for _, a := range g.customers {
 		f(a)
 	}
