--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -166,7 +166,7 @@
 	if a.waiter == nil {
 		return
 	}
-	a.waiter.Queue().Leave(a.waiter)
+	a.waiter.Queue().Remove(a.waiter)
 	d.counts.Cancelled++
 	d.refuse(a, Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"})
 }
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -130,7 +130,7 @@
 			},
 			"cancel": func(t *rapid.T) {
 				for id, wt := range w.waiting {
-					wt.Queue().Leave(wt)
+					wt.Queue().Remove(wt)
 					delete(w.waiting, id)
 					return
 				}
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -56,8 +56,8 @@
 	return clock.Millis(float64(l.length+1) * l.hall.typical / rate)
 }
 
-// Leave takes a waiter out of its line, for a request that was given up.
-func (l *Queue[R]) Leave(w *Waiter[R]) { l.remove(w) }
+// Remove takes a waiter out of its line, for a request that was given up.
+func (l *Queue[R]) Remove(w *Waiter[R]) { l.remove(w) }
 
 func (l *Queue[R]) push(w *Waiter[R]) {
 	w.line = l
