--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -72,7 +72,7 @@
 	w, why := d.gate.Enqueue(now, r.Deadline, line, room, a)
 	if why != admit.ReasonNone {
 		f := d.refusal(why, r.Pool)
-		f.RetryAfter = max(line.Wait(room), d.gate.TypicalRunTime(r.Pool), 1)
+		f.RetryAfter = max(line.EstimateWait(room), d.gate.TypicalRunTime(r.Pool), 1)
 		d.refuse(a, f)
 		return
 	}
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -262,7 +262,7 @@
 	if l.Customer.Waiting >= l.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
 	}
-	wait := l.Wait(slots)
+	wait := l.EstimateWait(slots)
 	wait += clock.Millis(float64(wait) * waitMargin)
 	if now+wait+l.hall.needs() >= deadline {
 		return nil, ReasonDeadline
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -38,10 +38,10 @@
 // Len is the number of waiters.
 func (l *Queue[R]) Len() int { return l.length }
 
-// Wait estimates how long a new waiter of the line waits when the pool runs
+// EstimateWait estimates how long a new waiter of the line waits when the pool runs
 // slots requests at once. The pool's rate is divided between the waiting
 // customers by weight, and a customer's rate is bounded by its share.
-func (l *Queue[R]) Wait(slots int) clock.Millis {
+func (l *Queue[R]) EstimateWait(slots int) clock.Millis {
 	if l.hall.typical == 0 || slots <= 0 {
 		return 0
 	}
