--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -156,7 +156,7 @@
 	if h, ok := d.router.Pick(now, p, avoid); ok {
 		return place{held: h}, true
 	}
-	loan, ok := d.loans.Take(now, p, avoid)
+	loan, ok := d.loans.Acquire(now, p, avoid)
 	return place{loan: loan}, ok
 }
 
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -78,9 +78,9 @@
 	again clock.Millis
 }
 
-// Take reserves a slot of a held loan; ok is false when none has room. A loan
+// Acquire reserves a slot of a held loan; ok is false when none has room. A loan
 // of the instance to avoid is not taken.
-func (l *Ledger[P]) Take(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *HeldLoan, ok bool) {
+func (l *Ledger[P]) Acquire(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *HeldLoan, ok bool) {
 	s := l.pools[p]
 	if s == nil {
 		return nil, false
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -186,7 +186,7 @@
 		r := run{ends: w.now + clock.Millis(1+w.rng.IntN(int(hold)))}
 		if h, ok := p.router.Pick(w.at(p), "p", ""); ok {
 			r.held, r.id = h, h.Upstream.Instance
-		} else if l, ok := p.ledger.Take(w.at(p), "p", ""); ok {
+		} else if l, ok := p.ledger.Acquire(w.at(p), "p", ""); ok {
 			r.loan, r.id = l, l.Instance
 		} else {
 			return
