--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -162,7 +162,7 @@
 
 func (d *Dispatcher[P, Q, L]) unpick(now clock.Millis, at place) {
 	if at.loan != nil {
-		d.loans.Put(now, at.loan, false, false)
+		d.loans.Release(now, at.loan, false, false)
 		d.loans.Counts.Used--
 		return
 	}
@@ -175,7 +175,7 @@
 		return d.router.End(now, at.held, o)
 	}
 	failed := o == OutcomeError || o == OutcomeUnknown || o == OutcomeTimeout
-	d.loans.Put(now, at.loan, failed, o == OutcomeConnect)
+	d.loans.Release(now, at.loan, failed, o == OutcomeConnect)
 	return false
 }
 
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -99,9 +99,9 @@
 	return nil, false
 }
 
-// Put gives a slot back. failed says that the upstream failed, and unreached
+// Release gives a slot back. failed says that the upstream failed, and unreached
 // that no connection could be opened.
-func (l *Ledger[P]) Put(now clock.Millis, h *HeldLoan, failed, unreached bool) {
+func (l *Ledger[P]) Release(now clock.Millis, h *HeldLoan, failed, unreached bool) {
 	h.Running--
 	h.used = now
 	if !failed && !unreached {
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -89,7 +89,7 @@
 	assert.DeepEqual(t, o.Request.Renew, []ID{h.ID})
 	l.Answered(620, o, 600, LoanResponse{Incarnation: 1, Lease: 1000, Renewed: o.Request.Renew}, true)
 	assert.Equal(t, l.Room(1499, "p"), 2)
-	l.Put(700, h, false, false)
+	l.Release(700, h, false, false)
 	o = plan(t, l, 1700, nil)
 	assert.DeepEqual(t, o.Return.IDs, []ID{h.ID})
 	assert.DeepEqual(t, o.CloseConnections, []string{h.Name()})
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -172,7 +172,7 @@
 	r := p.runs[i]
 	p.runs = append(p.runs[:i], p.runs[i+1:]...)
 	if r.loan != nil {
-		p.ledger.Put(w.at(p), r.loan, false, false)
+		p.ledger.Release(w.at(p), r.loan, false, false)
 		return
 	}
 	p.router.End(w.at(p), r.held, route.OutcomeOK)
