--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -22,8 +22,8 @@
 	WaitNoWorkers Limit = "no-workers"
 	// WaitLabel: no worker has the required label.
 	WaitLabel Limit = "label"
-	// LimitSize: no worker is large enough, even if it ran nothing.
-	LimitSize Limit = "size"
+	// WaitSize: no worker is large enough, even if it ran nothing.
+	WaitSize Limit = "size"
 	// LimitLeaving: the workers drain, or their machines are to be maintained or
 	// moved.
 	LimitLeaving Limit = "leaving"
@@ -166,7 +166,7 @@
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
 		{WaitLabel, func(w *worker) bool { return w.labelled(g) }},
-		{LimitSize, func(w *worker) bool { return need.Fits(w.room) }},
+		{WaitSize, func(w *worker) bool { return need.Fits(w.room) }},
 		{LimitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
 		{LimitAside, func(w *worker) bool { return w.aside <= now }},
 		{LimitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -34,7 +34,7 @@
 			r.now += 2 * r.set.LeaseMillis
 		}, want: WaitNoWorkers},
 		{name: "label", steps: []jobs.Step{labelled}, want: WaitLabel},
-		{name: "size", steps: []jobs.Step{large}, want: LimitSize},
+		{name: "size", steps: []jobs.Step{large}, want: WaitSize},
 		{name: "maintenance", steps: []jobs.Step{small}, with: func(r *rig) {
 			r.hear("w1", 1, nil)
 			r.workers["w1"].leaving = true
