--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -24,9 +24,9 @@
 	WaitLabel Limit = "label"
 	// WaitSize: no worker is large enough, even if it ran nothing.
 	WaitSize Limit = "size"
-	// LimitLeaving: the workers drain, or their machines are to be maintained or
+	// WaitLeaving: the workers drain, or their machines are to be maintained or
 	// moved.
-	LimitLeaving Limit = "leaving"
+	WaitLeaving Limit = "leaving"
 	// LimitAside: the workers are set aside for their failures.
 	LimitAside Limit = "set-aside"
 	// LimitAdvice: the advice service has named no worker.
@@ -167,7 +167,7 @@
 		{WaitNoWorkers, func(*worker) bool { return true }},
 		{WaitLabel, func(w *worker) bool { return w.labelled(g) }},
 		{WaitSize, func(w *worker) bool { return need.Fits(w.room) }},
-		{LimitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
+		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
 		{LimitAside, func(w *worker) bool { return w.aside <= now }},
 		{LimitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
 		{LimitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -38,7 +38,7 @@
 		{name: "maintenance", steps: []jobs.Step{small}, with: func(r *rig) {
 			r.hear("w1", 1, nil)
 			r.workers["w1"].leaving = true
-		}, want: LimitLeaving},
+		}, want: WaitLeaving},
 		{name: "set aside", steps: []jobs.Step{small}, with: func(r *rig) {
 			r.hear("w1", 1, nil)
 			r.workers["w1"].aside = r.now + 1
