--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -27,8 +27,8 @@
 	// WaitLeaving: the workers drain, or their machines are to be maintained or
 	// moved.
 	WaitLeaving Limit = "leaving"
-	// LimitAside: the workers are set aside for their failures.
-	LimitAside Limit = "set-aside"
+	// WaitQuarantine: the workers are set aside for their failures.
+	WaitQuarantine Limit = "set-aside"
 	// LimitAdvice: the advice service has named no worker.
 	LimitAdvice Limit = "advice"
 	// LimitPerWorker: each worker runs as many tasks of the step as it may.
@@ -168,7 +168,7 @@
 		{WaitLabel, func(w *worker) bool { return w.labelled(g) }},
 		{WaitSize, func(w *worker) bool { return need.Fits(w.room) }},
 		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
-		{LimitAside, func(w *worker) bool { return w.aside <= now }},
+		{WaitQuarantine, func(w *worker) bool { return w.aside <= now }},
 		{LimitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
 		{LimitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
 		{LimitRoom, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -42,7 +42,7 @@
 		{name: "set aside", steps: []jobs.Step{small}, with: func(r *rig) {
 			r.hear("w1", 1, nil)
 			r.workers["w1"].aside = r.now + 1
-		}, want: LimitAside},
+		}, want: WaitQuarantine},
 		{name: "one on each worker", steps: []jobs.Step{apart}, want: LimitPerWorker},
 		{name: "room", steps: []jobs.Step{wide}, want: LimitRoom},
 		{name: "room for a part of a gang", steps: []jobs.Step{gang}, want: LimitGang},
