--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
-		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestDeadline{},
+		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Rank: sched.EarliestDeadline{},
 		Judge: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
 		ObserveCommit: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
