--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -157,7 +157,7 @@
 	Group         G
 	Machines      M
 	Rank          O
-	Judge         J
+	Health        J
 	Settings      sched.Settings
 	Clock         clock.Clock
 	Notes         func([]sched.Note)
@@ -167,7 +167,7 @@
 // New returns a runner; Run must be called for it to do anything.
 func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
-		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Rank, judge: p.Judge, set: p.Settings,
+		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Rank, judge: p.Health, set: p.Settings,
 		clock: p.Clock, notes: p.Notes, observe: p.ObserveCommit,
 		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[action](actionRing),
 		done: make(chan struct{}), ended: make(chan struct{}), waiters: map[jobs.WorkerID]waiter{},
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -118,7 +118,7 @@
 	set := sched.Defaults()
 	set.BacklogTargetMillis = 0
 	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
-		Name: "c1", Group: g, Judge: place.PeerComparison{MinScore: 3}, Settings: set, Clock: clock.Real(),
+		Name: "c1", Group: g, Health: place.PeerComparison{MinScore: 3}, Settings: set, Clock: clock.Real(),
 	})
 	go func() { _ = r.Run() }()
 	t.Cleanup(func() {
@@ -308,7 +308,7 @@
 func TestLeaseAfterSuspension(t *testing.T) {
 	fake := clock.NewFake(100_000)
 	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
-		Group: newFakeGroup(), Judge: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+		Group: newFakeGroup(), Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 	})
 	r.confirmed = 99_900
 	r.notePause()
@@ -337,7 +337,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			fake, g := clock.NewFake(began), newFakeGroup()
 			r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
-				Group: g, Judge: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+				Group: g, Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 			})
 			a := action{term: g.term, at: began, skew: fake.Clock().Skew()}
 			c.hold(fake, g)
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -67,7 +67,7 @@
 	}
 	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Rank: sched.EarliestDeadline{},
-		Judge: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
+		Health: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
 		ObserveCommit: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
 	c.member.changed = c.work.Wake
