--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -24,8 +24,8 @@
 func benchmarkAsk(b *testing.B, lease clock.Millis) {
 	d := startWith(b, Settings{
 		Self: "e1", Zone: "z1", Entries: []model.Member{{Name: "e1", Zone: "z1"}}, Lease: clock.Minute,
-		Lending: lend.Settings{Self: "e1", Zone: "z1", Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
-		Orders:  ring.New[lend.Message](16),
+		Lending:      lend.Settings{Self: "e1", Zone: "z1", Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
+		LoanMessages: ring.New[lend.Message](16),
 	}, clock.Real(), 1000, contract("acme", 100_000, 1000))
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -109,7 +109,7 @@
 	}
 	d.orders = d.loans.Plan(now, d.needs, d.orders[:0])
 	for i, o := range d.orders {
-		if !d.cfg.Orders.TryPut(o) {
+		if !d.cfg.LoanMessages.TryPut(o) {
 			d.unsent(now, o)
 		}
 		d.orders[i] = lend.Message{}
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -19,7 +19,7 @@
 	all := []model.Member{{Name: "e1", Zone: "z1"}, {Name: "e2", Zone: "z2"}}
 	orders := ring.New[lend.Message](16)
 	d := New(Settings{
-		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, Orders: orders,
+		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, LoanMessages: orders,
 		Lending: lend.Settings{
 			Self: self, Zone: zone, Entries: all, Incarnation: 1, Lease: clock.Minute, MaxRequestTime: clock.Minute, ReservePercent: 25,
 		},
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -55,8 +55,8 @@
 	Events *ring.Ring[model.Event]
 	// Lending says how slots are lent; its zero value turns that off. Orders
 	// receives the messages to other entry processes and is needed otherwise.
-	Lending lend.Settings
-	Orders  *ring.Ring[lend.Message]
+	Lending      lend.Settings
+	LoanMessages *ring.Ring[lend.Message]
 }
 
 // Request asks for the right to send one request to an upstream.
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -84,8 +84,8 @@
 	g := &rig{claims: &claims{held: map[model.ClaimKey]model.ClaimOutcome{}}}
 	g.gate = entry.New(entry.Settings{
 		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
-		Lending: lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
-		Orders:  ring.New[lend.Message](16),
+		Lending:      lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
+		LoanMessages: ring.New[lend.Message](16),
 	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	g.link = uplink.New(uplink.Defaults(), clk)
 	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
