--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -76,7 +76,7 @@
 	Self       Hello
 	Member     raft.Member
 	Configured []model.Member
-	Size       int
+	MinMembers int
 	Asker      A
 	Group      M
 	Clock      clock.Clock
@@ -87,7 +87,7 @@
 // NewMembershipManager returns a keeper; Run must be called for it to do anything.
 func NewMembershipManager[A Asker, M Membership](p Config[A, M]) *MembershipManager[A, M] {
 	k := &MembershipManager[A, M]{
-		self: p.Self, member: p.Member, size: p.Size, asker: p.Asker, group: p.Group, clock: p.Clock,
+		self: p.Self, member: p.Member, size: p.MinMembers, asker: p.Asker, group: p.Group, clock: p.Clock,
 		done: make(chan struct{}), joined: p.Joined, removed: p.Removed, silent: map[raft.MemberID]clock.Millis{},
 	}
 	k.Configure(p.Configured)
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/keeper_test.go
@@ -40,7 +40,7 @@
 func newTestKeeper(size int) (*MembershipManager[fakeAsker, *fakeGroup], *fakeGroup, *clock.Fake) {
 	g, c := &fakeGroup{}, clock.NewFake(1000)
 	k := NewMembershipManager(Config[fakeAsker, *fakeGroup]{
-		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, Size: size, Asker: fakeAsker{g}, Group: g,
+		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: size, Asker: fakeAsker{g}, Group: g,
 		Clock: c.Clock(), Joined: func(raft.Member) {}, Removed: func(raft.MemberID) {},
 	})
 	return k, g, c
