--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -196,9 +196,9 @@
 	case a := <-reply:
 		return a
 	case <-ctx.Done():
-		return Answer{Kind: AnswerUnknown, Reason: "no answer in time"}
+		return Answer{Kind: AnswerOutcomeUnknown, Reason: "no answer in time"}
 	case <-r.ended:
-		return Answer{Kind: AnswerUnknown, Reason: "the process stops"}
+		return Answer{Kind: AnswerOutcomeUnknown, Reason: "the process stops"}
 	}
 }
 
@@ -315,7 +315,7 @@
 func (r *Runner[G, M, O, J]) fail(b *batch, err *Error) {
 	for _, a := range b.answers {
 		if err.Kind == KindUnknown || a.uncertain {
-			a.reply <- Answer{Kind: AnswerUnknown, Reason: err.Error()}
+			a.reply <- Answer{Kind: AnswerOutcomeUnknown, Reason: err.Error()}
 		} else {
 			a.reply <- unavailable(err.Error())
 		}
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -294,7 +294,7 @@
 	r := start(t, g)
 	ask(t, r, AnswerDone, submit("/q/kept"))
 	g.set(func() { g.fail = errUnknown })
-	assert.Equal(t, r.Call(context.Background(), submit("/q/lost")).Kind, AnswerUnknown)
+	assert.Equal(t, r.Call(context.Background(), submit("/q/lost")).Kind, AnswerOutcomeUnknown)
 	g.set(func() { g.fail = errNotLeader })
 	a := ask(t, r, AnswerUnavailable, submit("/q/refused"))
 	assert.Assert(t, a.RetryAfter > 0)
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -131,8 +131,8 @@
 	// AnswerUnavailable: nothing was done and nothing will be; Retry says when
 	// to come back.
 	AnswerUnavailable
-	// AnswerUnknown: it may be done.
-	AnswerUnknown
+	// AnswerOutcomeUnknown: it may be done.
+	AnswerOutcomeUnknown
 )
 
 var answerNames = [...]string{
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -47,7 +47,7 @@
 
 // WorkAnswerFromWire maps the answer to a call.
 func WorkAnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
-	kind, err := enum("answer", "kind", w.GetKind(), runner.AnswerUnknown)
+	kind, err := enum("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
 	if err != nil {
 		return runner.Answer{}, err
 	}
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -23,7 +23,7 @@
 	switch {
 	case err != nil:
 		return failed(op, err)
-	case a.Kind == runner.AnswerUnknown:
+	case a.Kind == runner.AnswerOutcomeUnknown:
 		return failed(op, fmt.Errorf("it may be done, run the command again: %s", a.Reason))
 	case a.Kind != runner.AnswerDone:
 		return failed(op, fmt.Errorf("%s: %s", a.Kind, a.Reason))
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -75,7 +75,7 @@
 // submitStats counts what callers were answered.
 type submitStats struct {
 	// answers counts by kind of answer.
-	answers [runner.AnswerUnknown + 1]atomic.Int64
+	answers [runner.AnswerOutcomeUnknown + 1]atomic.Int64
 	// millis takes the time of each call.
 	millis metrics.Histogram
 }
@@ -108,14 +108,14 @@
 	uncertain := false
 	for {
 		a := s.try(ctx, c)
-		uncertain = uncertain || a.Kind == runner.AnswerUnknown
-		open := a.Kind == runner.AnswerUnknown || a.Kind == runner.AnswerUnavailable
+		uncertain = uncertain || a.Kind == runner.AnswerOutcomeUnknown
+		open := a.Kind == runner.AnswerOutcomeUnknown || a.Kind == runner.AnswerUnavailable
 		if !open {
 			return a
 		}
 		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= soon) {
 			if uncertain {
-				a.Kind = runner.AnswerUnknown
+				a.Kind = runner.AnswerOutcomeUnknown
 			}
 			return a
 		}
@@ -135,7 +135,7 @@
 		return a
 	}
 	if peers.Uncertain(err) {
-		return runner.Answer{Kind: runner.AnswerUnknown, Reason: err.Error()}
+		return runner.Answer{Kind: runner.AnswerOutcomeUnknown, Reason: err.Error()}
 	}
 	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingWait, Reason: err.Error()}
 }
