--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -398,7 +398,7 @@
 func (r *Runner[G, M, O, J]) fly(b *batch) {
 	r.flying = b
 	r.n.Batches++
-	r.n.Ops += int64(len(b.ops))
+	r.n.Operations += int64(len(b.ops))
 	// The ring holds one batch and none is on its way, but for the load of a
 	// later term.
 	r.commits.PutWait(b, r.done)
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -183,7 +183,7 @@
 	StaleHeartbeats int64
 	Calls           int64
 	Batches         int64
-	Ops             int64
+	Operations      int64
 	// Resets counts the times that uncommitted decisions were dropped.
 	Resets int64
 	// RunsStarted, Lost and Failed count runs.
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -96,7 +96,7 @@
 		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
-		{"job-operations", count(func(n runner.Counts) int64 { return n.Ops })},
+		{"job-operations", count(func(n runner.Counts) int64 { return n.Operations })},
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
 		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
 		{"runs-lost", count(func(n runner.Counts) int64 { return n.RunsLost })},
