--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -40,8 +40,8 @@
 // Poller is the duty that fetches the table.
 type Poller[S Source] struct {
 	Self model.Member
-	// Control lists the control members, those of the own zone first.
-	Control []model.Member
+	// ControlMembers lists the control members, those of the own zone first.
+	ControlMembers []model.Member
 	// Neighbours lists the other entry processes of the own zone.
 	Neighbours []model.Member
 	source     S
@@ -63,9 +63,9 @@
 // NewPoller returns a poller for the process self.
 func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, c clock.Clock) *Poller[S] {
 	p := &Poller[S]{Self: self, source: s, offer: offer, clock: c, done: make(chan struct{})}
-	p.Control = append(p.Control, control...)
-	sort.SliceStable(p.Control, func(i, j int) bool {
-		a, b := p.Control[i].Zone == self.Zone, p.Control[j].Zone == self.Zone
+	p.ControlMembers = append(p.ControlMembers, control...)
+	sort.SliceStable(p.ControlMembers, func(i, j int) bool {
+		a, b := p.ControlMembers[i].Zone == self.Zone, p.ControlMembers[j].Zone == self.Zone
 		return a && !b
 	})
 	for _, m := range entries {
@@ -135,7 +135,7 @@
 // pollControl asks the control members in turn and reports whether one
 // answered. Until one has, it asks them not to hold the answer back.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
-	for _, m := range p.Control {
+	for _, m := range p.ControlMembers {
 		wait := WatchWait
 		if !p.answered {
 			wait = 0
