--- a/core/coord/entry/lookup.go
+++ b/core/coord/entry/lookup.go
@@ -13,9 +13,9 @@
 	return c.instance, c.known
 }
 
-// Live returns the announcements whose lease holds. Its cost follows the
+// LiveAnnouncements returns the announcements whose lease holds. Its cost follows the
 // number of upstreams in the zone.
-func (d *Dispatcher[P, Q, L]) Live() []model.Announcement {
+func (d *Dispatcher[P, Q, L]) LiveAnnouncements() []model.Announcement {
 	return d.call(&command{op: opLive}).live
 }
 
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -149,7 +149,7 @@
 
 func (e *Entry) status() follow.Status {
 	return follow.Status{
-		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.Live,
+		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.LiveAnnouncements,
 	}
 }
 
