--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -153,7 +153,7 @@
 
 // pick reserves a slot: of the own share, or of a loan when that has no room.
 func (d *Dispatcher[P, Q, L]) pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (place, bool) {
-	if h, ok := d.router.Pick(now, p, avoid); ok {
+	if h, ok := d.router.Reserve(now, p, avoid); ok {
 		return place{held: h}, true
 	}
 	loan, ok := d.loans.Acquire(now, p, avoid)
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -184,7 +184,7 @@
 	w.sync(p)
 	for range 1 + w.rng.IntN(8) {
 		r := run{ends: w.now + clock.Millis(1+w.rng.IntN(int(hold)))}
-		if h, ok := p.router.Pick(w.at(p), "p", ""); ok {
+		if h, ok := p.router.Reserve(w.at(p), "p", ""); ok {
 			r.held, r.id = h, h.Upstream.Instance
 		} else if l, ok := p.ledger.Acquire(w.at(p), "p", ""); ok {
 			r.loan, r.id = l, l.Instance
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -46,7 +46,7 @@
 			r.SetInstance(0, i, 0)
 			r.SetAnnouncement(0, a, true)
 			for {
-				h, ok := r.Pick(start, "p", "")
+				h, ok := r.Reserve(start, "p", "")
 				if !ok {
 					break
 				}
@@ -76,18 +76,18 @@
 	} {
 		r := pool(LeastLoaded{}, 1)
 		i, a, live := entryOf("i0", 2), announced("i0", 1), true
-		_, ok := r.Pick(start, "p", "")
+		_, ok := r.Reserve(start, "p", "")
 		assert.Assert(t, ok)
 		change(&i, &a, &live)
 		r.SetInstance(start, i, 1)
 		r.SetAnnouncement(start, a, live)
 		for _, p := range []model.Pool{"p", "q"} {
-			_, ok = r.Pick(start, p, "")
+			_, ok = r.Reserve(start, p, "")
 			assert.Assert(t, !ok, name)
 		}
 		r.SetInstance(start, entryOf("i0", 3), 2)
 		r.SetAnnouncement(start, announced("i0", 1), true)
-		_, ok = r.Pick(start, "p", "")
+		_, ok = r.Reserve(start, "p", "")
 		assert.Assert(t, ok, "%s: it did not come back", name)
 	}
 }
@@ -109,7 +109,7 @@
 		r.Version = v
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(*rapid.T) {
-				if h, ok := r.Pick(start, "p", ""); ok {
+				if h, ok := r.Reserve(start, "p", ""); ok {
 					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
 					flights = append(flights, &flight{held: h, until: 1 << 40})
 				}
@@ -188,7 +188,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"request": func(t *rapid.T) {
-				h, ok := r.Pick(now, "p", "")
+				h, ok := r.Reserve(now, "p", "")
 				assert.Assert(t, ok)
 				r.End(now, h, Outcome(rapid.IntRange(0, 6).Draw(t, "outcome")))
 			},
@@ -230,7 +230,7 @@
 		r := pool(LeastLoaded{}, 4)
 		failed := 0
 		for range 400 {
-			h, ok := r.Pick(start, "p", "")
+			h, ok := r.Reserve(start, "p", "")
 			assert.Assert(t, ok)
 			if h.Upstream.Instance == "i2" {
 				failed++
@@ -252,7 +252,7 @@
 		r = pool(LeastLoaded{}, 4)
 		ejected := 0
 		for range 400 {
-			h, _ := r.Pick(start, "p", "")
+			h, _ := r.Reserve(start, "p", "")
 			if r.End(start, h, o) {
 				ejected++
 			}
@@ -269,7 +269,7 @@
 // being counted against the present one.
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
-	h, _ := r.Pick(start, "p", "i0")
+	h, _ := r.Reserve(start, "p", "i0")
 	r.SetAnnouncement(start, announced(h.Upstream.Instance, 2), true)
 	assert.Assert(t, !r.End(start, h, OutcomeConnect))
 	assert.Equal(t, h.Upstream.Score, 0.0)
@@ -304,10 +304,10 @@
 		return stuck
 	}
 	a, b := pool(LeastLoaded{}, 3), pool(&RoundRobin{}, 3)
-	least := uneven(func() (Reservation, bool) { return a.Pick(start, "p", "") }, func(h Reservation) { a.End(start, h, OutcomeOK) })
-	turns := uneven(func() (Reservation, bool) { return b.Pick(start, "p", "") }, func(h Reservation) { b.End(start, h, OutcomeOK) })
+	least := uneven(func() (Reservation, bool) { return a.Reserve(start, "p", "") }, func(h Reservation) { a.End(start, h, OutcomeOK) })
+	turns := uneven(func() (Reservation, bool) { return b.Reserve(start, "p", "") }, func(h Reservation) { b.End(start, h, OutcomeOK) })
 	assert.Equal(t, least, 1)
 	assert.Equal(t, turns, 8)
-	h, ok := a.Pick(start, "p", "i1")
+	h, ok := a.Reserve(start, "p", "i1")
 	assert.Assert(t, ok && h.Upstream.Instance == "i2")
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -203,9 +203,9 @@
 	Incarnation uint64
 }
 
-// Pick reserves a slot of an upstream of the pool; ok is false when none has
+// Reserve reserves a slot of an upstream of the pool; ok is false when none has
 // room. The upstream to avoid is taken only when no other has room.
-func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
+func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
 	g := r.pools[p]
 	if g == nil || len(g.members) == 0 {
 		return Reservation{}, false
