--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -166,7 +166,7 @@
 		d.loans.Counts.Used--
 		return
 	}
-	d.router.Return(at.held)
+	d.router.CancelReservation(at.held)
 }
 
 // leave gives a slot back and reports whether its upstream was ejected.
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -251,8 +251,8 @@
 	return buf
 }
 
-// Return gives back a reservation that was not used.
-func (r *Router[P]) Return(h Reservation) {
+// CancelReservation gives back a reservation that was not used.
+func (r *Router[P]) CancelReservation(h Reservation) {
 	h.Upstream.Running--
 	r.forget(h.Upstream)
 }
