--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -148,7 +148,7 @@
 
 // room is the number of requests that own and borrowed slots run at once.
 func (d *Dispatcher[P, Q, L]) room(now clock.Millis, p model.Pool) int {
-	return d.router.Room(now, p) + d.loans.Room(now, p)
+	return d.router.Capacity(now, p) + d.loans.Room(now, p)
 }
 
 // pick reserves a slot: of the own share, or of a loan when that has no room.
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -217,7 +217,7 @@
 					}
 				}
 				assert.Assert(t, in >= (len(members)+1)/2, "%d of %d are in", in, len(members))
-				assert.Assert(t, r.Room(now, "p") > 0)
+				assert.Assert(t, r.Capacity(now, "p") > 0)
 			},
 		})
 	})
@@ -240,14 +240,14 @@
 			r.End(start, h, OutcomeOK)
 		}
 		assert.Assert(t, failed <= 4, "%d requests went to the failing upstream", failed)
-		assert.Equal(t, r.Room(start, "p"), 24)
+		assert.Equal(t, r.Capacity(start, "p"), 24)
 		// It comes back slowly.
 		back := start + ejectBase
 		assert.Equal(t, len(r.Restored(start, nil)), 0)
 		assert.Equal(t, len(r.Restored(back, nil)), 1)
 		assert.Equal(t, len(r.Restored(back, nil)), 0)
-		assert.Equal(t, r.Room(back, "p"), 25)
-		assert.Equal(t, r.Room(back+SlowStart, "p"), 32)
+		assert.Equal(t, r.Capacity(back, "p"), 25)
+		assert.Equal(t, r.Capacity(back+SlowStart, "p"), 32)
 
 		r = pool(LeastLoaded{}, 4)
 		ejected := 0
@@ -280,12 +280,12 @@
 // process that has just started holding everybody back.
 func TestSlowStart(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
-	assert.Equal(t, r.Room(0, "p"), 16)
+	assert.Equal(t, r.Capacity(0, "p"), 16)
 	r.SetInstance(start, entryOf("new", 2), 1)
 	r.SetAnnouncement(start, announced("new", 1), true)
-	assert.Equal(t, r.Room(start, "p"), 17)
-	assert.Equal(t, r.Room(start+SlowStart/2, "p"), 20)
-	assert.Equal(t, r.Room(start+SlowStart, "p"), 24)
+	assert.Equal(t, r.Capacity(start, "p"), 17)
+	assert.Equal(t, r.Capacity(start+SlowStart/2, "p"), 20)
+	assert.Equal(t, r.Capacity(start+SlowStart, "p"), 24)
 }
 
 // Guards against a choice that ignores load; the baseline does.
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -284,8 +284,8 @@
 	return max(1, int(clock.Millis(slots)*age/SlowStart))
 }
 
-// Room returns the number of requests that the pool may run at once now.
-func (r *Router[P]) Room(now clock.Millis, p model.Pool) int {
+// Capacity returns the number of requests that the pool may run at once now.
+func (r *Router[P]) Capacity(now clock.Millis, p model.Pool) int {
 	g := r.pools[p]
 	if g == nil {
 		return 0
