--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -246,7 +246,7 @@
 func (d *Dispatcher[P, Q, L]) status() Status {
 	s := Status{
 		Version: d.table.Version,
-		Drained: d.router.Drained(),
+		Drained: d.router.DrainedVersion(),
 		Ready:   d.ready,
 		Pauses:  d.roster.Pauses,
 		Counts:  d.counts,
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -187,7 +187,7 @@
 
 // publish copies what other goroutines read without a message.
 func (d *Dispatcher[P, Q, L]) publish() {
-	d.drained.Store(uint64(d.router.Drained()))
+	d.drained.Store(uint64(d.router.DrainedVersion()))
 	d.serving.Store(d.ready)
 }
 
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -320,7 +320,7 @@
 		}
 		all := true
 		for _, p := range w.procs[:2] {
-			if p.router.Drained() >= i.Version {
+			if p.router.DrainedVersion() >= i.Version {
 				w.confirmed[i.ID][p] = true
 			}
 			all = all && w.confirmed[i.ID][p]
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -166,9 +166,9 @@
 						old++
 					}
 				}
-				assert.Assert(t, r.Drained() <= want, "%d was confirmed, %d is the most", r.Drained(), want)
+				assert.Assert(t, r.DrainedVersion() <= want, "%d was confirmed, %d is the most", r.DrainedVersion(), want)
 				if old == 0 || !again {
-					assert.Equal(t, r.Drained(), want)
+					assert.Equal(t, r.DrainedVersion(), want)
 				}
 			},
 		})
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -335,12 +335,12 @@
 	}
 }
 
-// Drained returns the highest version of the table such that no request in
+// DrainedVersion returns the highest version of the table such that no request in
 // flight and no loan uses an instance released at or below it; 0 in quarantine.
 // When an instance was routable
 // again before all earlier requests had ended, which control never allows, the
 // result can be lower than that.
-func (r *Router[P]) Drained() model.Version {
+func (r *Router[P]) DrainedVersion() model.Version {
 	if r.LoansUncertain {
 		return 0
 	}
