--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -96,7 +96,7 @@
 	d.syncLoans(now)
 	if now-d.rolled >= peakSpan {
 		d.rolled = now
-		d.router.Roll()
+		d.router.RotatePeaks()
 	}
 	d.needs = d.needs[:0]
 	d.pools = d.gate.WaitingPools(d.pools[:0])
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Roll begins a new time span for the peaks of all upstreams.
-func (r *Router[P]) Roll() {
+// RotatePeaks begins a new time span for the peaks of all upstreams.
+func (r *Router[P]) RotatePeaks() {
 	for _, u := range r.upstreams {
 		u.PreviousPeak, u.Peak = u.Peak, u.Running
 	}
