--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -12,7 +12,7 @@
 func (d *Dispatcher[P, Q, L]) Lend(a lend.LoanRequest) (out lend.LoanResponse) {
 	d.onLoans(func(now clock.Millis) {
 		waiting := d.gate.RunnableCount(a.Pool)
-		d.stocks = d.router.Stocks(now, a.Pool, waiting, d.stocks[:0])
+		d.stocks = d.router.PoolUpstreamSlots(now, a.Pool, waiting, d.stocks[:0])
 		out = d.loans.Grant(now, a, d.stocks, func(id model.InstanceID) (lend.UpstreamSlots, bool) {
 			return d.router.Stock(id, d.gate.RunnableCount)
 		})
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -243,7 +243,7 @@
 	now := w.at(m.to)
 	switch m.order.Kind {
 	case lend.MessageRequest:
-		m.answer = m.to.ledger.Grant(now, m.order.Request, m.to.router.Stocks(now, "p", 0, nil), func(id model.InstanceID) (lend.UpstreamSlots, bool) {
+		m.answer = m.to.ledger.Grant(now, m.order.Request, m.to.router.PoolUpstreamSlots(now, "p", 0, nil), func(id model.InstanceID) (lend.UpstreamSlots, bool) {
 			return m.to.router.Stock(id, func(model.Pool) int { return 0 })
 		})
 	case lend.MessageReturn:
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -19,9 +19,9 @@
 	return before
 }
 
-// Stocks appends the upstreams of a pool that are not ejected, as a lender
+// PoolUpstreamSlots appends the upstreams of a pool that are not ejected, as a lender
 // sees them.
-func (r *Router[P]) Stocks(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
+func (r *Router[P]) PoolUpstreamSlots(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
 	g := r.pools[p]
 	if g == nil {
 		return buf
