--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -14,7 +14,7 @@
 		waiting := d.gate.RunnableCount(a.Pool)
 		d.stocks = d.router.PoolUpstreamSlots(now, a.Pool, waiting, d.stocks[:0])
 		out = d.loans.Grant(now, a, d.stocks, func(id model.InstanceID) (lend.UpstreamSlots, bool) {
-			return d.router.Stock(id, d.gate.RunnableCount)
+			return d.router.UpstreamSlots(id, d.gate.RunnableCount)
 		})
 	})
 	return out
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -244,7 +244,7 @@
 	switch m.order.Kind {
 	case lend.MessageRequest:
 		m.answer = m.to.ledger.Grant(now, m.order.Request, m.to.router.PoolUpstreamSlots(now, "p", 0, nil), func(id model.InstanceID) (lend.UpstreamSlots, bool) {
-			return m.to.router.Stock(id, func(model.Pool) int { return 0 })
+			return m.to.router.UpstreamSlots(id, func(model.Pool) int { return 0 })
 		})
 	case lend.MessageReturn:
 		m.to.ledger.TakeBack(m.order.Return)
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -36,8 +36,8 @@
 	return buf
 }
 
-// Stock returns a routable upstream as a lender sees it.
-func (r *Router[P]) Stock(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
+// UpstreamSlots returns a routable upstream as a lender sees it.
+func (r *Router[P]) UpstreamSlots(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
 	u := r.upstreams[id]
 	if u == nil || u.Pool == "" {
 		return lend.UpstreamSlots{}, false
