--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -29,8 +29,8 @@
 	WaitLeaving Limit = "leaving"
 	// WaitQuarantine: the workers are set aside for their failures.
 	WaitQuarantine Limit = "set-aside"
-	// LimitAdvice: the advice service has named no worker.
-	LimitAdvice Limit = "advice"
+	// WaitAdvice: the advice service has named no worker.
+	WaitAdvice Limit = "advice"
 	// LimitPerWorker: each worker runs as many tasks of the step as it may.
 	LimitPerWorker Limit = "per-worker"
 	// LimitRoom: other tasks take the workers' room.
@@ -169,7 +169,7 @@
 		{WaitSize, func(w *worker) bool { return need.Fits(w.room) }},
 		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
 		{WaitQuarantine, func(w *worker) bool { return w.aside <= now }},
-		{LimitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
+		{WaitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
 		{LimitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
 		{LimitRoom, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
 	} {
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -72,7 +72,7 @@
 	r.hear("w1", 1, nil)
 	r.Pass(r.now)
 	x, _ := r.Explain("a", r.now)
-	assert.Equal(t, x.Steps[0].WaitReason, LimitAdvice)
+	assert.Equal(t, x.Steps[0].WaitReason, WaitAdvice)
 }
 
 // TestExplainCounts guards against a report that does not add up to what was
