--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -31,8 +31,8 @@
 	WaitQuarantine Limit = "set-aside"
 	// WaitAdvice: the advice service has named no worker.
 	WaitAdvice Limit = "advice"
-	// LimitPerWorker: each worker runs as many tasks of the step as it may.
-	LimitPerWorker Limit = "per-worker"
+	// WaitPerWorker: each worker runs as many tasks of the step as it may.
+	WaitPerWorker Limit = "per-worker"
 	// LimitRoom: other tasks take the workers' room.
 	LimitRoom Limit = "room"
 	// LimitGang: the workers have room for some of a gang's tasks, not for all.
@@ -170,7 +170,7 @@
 		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
 		{WaitQuarantine, func(w *worker) bool { return w.aside <= now }},
 		{WaitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
-		{LimitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
+		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
 		{LimitRoom, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
 	} {
 		left = slices.DeleteFunc(left, func(w *worker) bool { return !c.holds(w) })
