--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -33,8 +33,8 @@
 	WaitAdvice Limit = "advice"
 	// WaitPerWorker: each worker runs as many tasks of the step as it may.
 	WaitPerWorker Limit = "per-worker"
-	// LimitRoom: other tasks take the workers' room.
-	LimitRoom Limit = "room"
+	// WaitCapacity: other tasks take the workers' room.
+	WaitCapacity Limit = "room"
 	// LimitGang: the workers have room for some of a gang's tasks, not for all.
 	LimitGang Limit = "gang-room"
 	// LimitHeartbeat: a worker may take a task at its next heartbeat.
@@ -171,7 +171,7 @@
 		{WaitQuarantine, func(w *worker) bool { return w.aside <= now }},
 		{WaitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
 		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
-		{LimitRoom, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
+		{WaitCapacity, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
 	} {
 		left = slices.DeleteFunc(left, func(w *worker) bool { return !c.holds(w) })
 		if len(left) == 0 {
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -103,7 +103,7 @@
 		JobSummary: sched.JobSummary{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, AcceptedAt: start - 4000, Deadline: start + 2500},
 		Pool:       "log", Now: start,
 		Steps: []sched.StepReport{
-			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Failures: 1, WaitReason: sched.LimitRoom},
+			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Failures: 1, WaitReason: sched.WaitCapacity},
 			{Step: 1, Tasks: 2, Waiting: 2, WaitReason: sched.WaitDependencies},
 		},
 		Runs: []sched.RunReport{{
