--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -35,8 +35,8 @@
 	WaitPerWorker Limit = "per-worker"
 	// WaitCapacity: other tasks take the workers' room.
 	WaitCapacity Limit = "room"
-	// LimitGang: the workers have room for some of a gang's tasks, not for all.
-	LimitGang Limit = "gang-room"
+	// WaitGang: the workers have room for some of a gang's tasks, not for all.
+	WaitGang Limit = "gang-room"
 	// LimitHeartbeat: a worker may take a task at its next heartbeat.
 	LimitHeartbeat Limit = "heartbeat"
 )
@@ -179,7 +179,7 @@
 		}
 	}
 	if g.step.Gang {
-		return LimitGang
+		return WaitGang
 	}
 	return LimitHeartbeat
 }
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -45,7 +45,7 @@
 		}, want: WaitQuarantine},
 		{name: "one on each worker", steps: []jobs.Step{apart}, want: WaitPerWorker},
 		{name: "room", steps: []jobs.Step{wide}, want: WaitCapacity},
-		{name: "room for a part of a gang", steps: []jobs.Step{gang}, want: LimitGang},
+		{name: "room for a part of a gang", steps: []jobs.Step{gang}, want: WaitGang},
 		{name: "earlier step", steps: []jobs.Step{small, second}, step: 1, want: WaitDependencies},
 		{name: "nothing waits", steps: []jobs.Step{small}, want: WaitNone},
 	} {
