--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -37,8 +37,8 @@
 	WaitCapacity Limit = "room"
 	// WaitGang: the workers have room for some of a gang's tasks, not for all.
 	WaitGang Limit = "gang-room"
-	// LimitHeartbeat: a worker may take a task at its next heartbeat.
-	LimitHeartbeat Limit = "heartbeat"
+	// WaitHeartbeat: a worker may take a task at its next heartbeat.
+	WaitHeartbeat Limit = "heartbeat"
 )
 
 // StepReport is the progress of a step of one occurrence.
@@ -181,5 +181,5 @@
 	if g.step.Gang {
 		return WaitGang
 	}
-	return LimitHeartbeat
+	return WaitHeartbeat
 }
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -89,7 +89,7 @@
 	r.hear("w1", 1, nil, RunEnd{Number: 1, Task: o.Starts[0].Task, Run: 1, Result: jobs.ResultFailed})
 	x, ok := r.Explain("a", r.now)
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, x.Steps, []StepReport{{Tasks: 2, Running: 1, Waiting: 1, Runs: 2, Failures: 1, WaitReason: LimitHeartbeat}})
+	assert.DeepEqual(t, x.Steps, []StepReport{{Tasks: 2, Running: 1, Waiting: 1, Runs: 2, Failures: 1, WaitReason: WaitHeartbeat}})
 	assert.Equal(t, len(x.Runs), 1)
 	_, ok = r.Explain("none", r.now)
 	assert.Assert(t, !ok)
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -22,7 +22,7 @@
 	sched.WaitPerWorker:    "each worker runs as many tasks of the step as it may: add machines",
 	sched.WaitCapacity:     "other tasks take the workers' room: wait, or add machines",
 	sched.WaitGang:         "there is room for some tasks of the gang and not for all: wait, or add machines",
-	sched.LimitHeartbeat:   "a worker may take a task at its next heartbeat",
+	sched.WaitHeartbeat:    "a worker may take a task at its next heartbeat",
 }
 
 // JobStatus writes the state of a job.
