--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -8,37 +8,37 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Limit is what keeps waiting tasks from starting.
-type Limit string
+// WaitReason is what keeps waiting tasks from starting.
+type WaitReason string
 
 // The limits, in the order in which they are looked at.
 const (
-	WaitNone Limit = ""
+	WaitNone WaitReason = ""
 	// WaitNotDue: the occurrence is not due.
-	WaitNotDue Limit = "not-due"
+	WaitNotDue WaitReason = "not-due"
 	// WaitDependencies: an earlier step is not done.
-	WaitDependencies Limit = "earlier-steps"
+	WaitDependencies WaitReason = "earlier-steps"
 	// WaitNoWorkers: the pool has no worker that was heard lately.
-	WaitNoWorkers Limit = "no-workers"
+	WaitNoWorkers WaitReason = "no-workers"
 	// WaitLabel: no worker has the required label.
-	WaitLabel Limit = "label"
+	WaitLabel WaitReason = "label"
 	// WaitSize: no worker is large enough, even if it ran nothing.
-	WaitSize Limit = "size"
+	WaitSize WaitReason = "size"
 	// WaitLeaving: the workers drain, or their machines are to be maintained or
 	// moved.
-	WaitLeaving Limit = "leaving"
+	WaitLeaving WaitReason = "leaving"
 	// WaitQuarantine: the workers are set aside for their failures.
-	WaitQuarantine Limit = "set-aside"
+	WaitQuarantine WaitReason = "set-aside"
 	// WaitAdvice: the advice service has named no worker.
-	WaitAdvice Limit = "advice"
+	WaitAdvice WaitReason = "advice"
 	// WaitPerWorker: each worker runs as many tasks of the step as it may.
-	WaitPerWorker Limit = "per-worker"
+	WaitPerWorker WaitReason = "per-worker"
 	// WaitCapacity: other tasks take the workers' room.
-	WaitCapacity Limit = "room"
+	WaitCapacity WaitReason = "room"
 	// WaitGang: the workers have room for some of a gang's tasks, not for all.
-	WaitGang Limit = "gang-room"
+	WaitGang WaitReason = "gang-room"
 	// WaitHeartbeat: a worker may take a task at its next heartbeat.
-	WaitHeartbeat Limit = "heartbeat"
+	WaitHeartbeat WaitReason = "heartbeat"
 )
 
 // StepReport is the progress of a step of one occurrence.
@@ -53,7 +53,7 @@
 	Runs     int
 	Failures int
 	// WaitReason binds the waiting tasks.
-	WaitReason Limit
+	WaitReason WaitReason
 }
 
 // RunReport is a task that is assigned to a worker.
@@ -155,13 +155,13 @@
 
 // limitOf passes the workers of the pool through what a task asks of them, one
 // after the other, and returns what the last of them fail.
-func (b *Scheduler[O, J]) limitOf(r *jobs.Record, k, i int, now clock.Millis) Limit {
+func (b *Scheduler[O, J]) limitOf(r *jobs.Record, k, i int, now clock.Millis) WaitReason {
 	p := b.pool(b.poolOf(r))
 	g := &group{key: groupKey{r.ID, k, i}, rec: r, step: &r.Steps[i]}
 	need := counted(g.step)
 	left := slices.Collect(b.heard(p, now))
 	for _, c := range []struct {
-		limit Limit
+		limit WaitReason
 		holds func(*worker) bool
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -26,7 +26,7 @@
 		// step is the one that is looked at.
 		step int
 		with func(r *rig)
-		want Limit
+		want WaitReason
 	}{
 		{name: "no workers", steps: []jobs.Step{small}, with: func(*rig) {}, want: WaitNoWorkers},
 		{name: "silent workers", steps: []jobs.Step{small}, with: func(r *rig) {
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -120,7 +120,7 @@
 		r.Steps = append(r.Steps, sched.StepReport{
 			Occurrence: int(s.GetOccurrence()), Step: int(s.GetStep()), Tasks: int(s.GetTasks()), Done: int(s.GetDone()),
 			Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Runs: int(s.GetRuns()), Failures: int(s.GetFails()),
-			WaitReason: sched.Limit(s.GetLimit()),
+			WaitReason: sched.WaitReason(s.GetLimit()),
 		})
 	}
 	for _, x := range w.GetRuns() {
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -10,7 +10,7 @@
 )
 
 // limitTexts says what each limit on waiting tasks means, and what would help.
-var limitTexts = map[sched.Limit]string{
+var limitTexts = map[sched.WaitReason]string{
 	sched.WaitNotDue:       "the occurrence is not due yet",
 	sched.WaitDependencies: "an earlier step is not done",
 	sched.WaitNoWorkers:    "no worker of the pool was heard lately: add machines to the pool or start their workers",
@@ -82,7 +82,7 @@
 	return b.String()
 }
 
-func limitText(l sched.Limit) string {
+func limitText(l sched.WaitReason) string {
 	if text, ok := limitTexts[l]; ok {
 		return text
 	}
