--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -143,7 +143,7 @@
 // mayBorrow reports whether waiters of a pool without own slots may get some
 // from others.
 func (d *Dispatcher[P, Q, L]) mayBorrow(now clock.Millis, p model.Pool) bool {
-	return len(d.spread[p]) > 0 && d.loans.Hope(now, p)
+	return len(d.spread[p]) > 0 && d.loans.MayBorrow(now, p)
 }
 
 // room is the number of requests that own and borrowed slots run at once.
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -144,9 +144,9 @@
 	}
 }
 
-// Hope reports whether a process without own slots of the pool may get some:
+// MayBorrow reports whether a process without own slots of the pool may get some:
 // it holds loans, or a search has not yet ended without one.
-func (l *Ledger[P]) Hope(now clock.Millis, p model.Pool) bool {
+func (l *Ledger[P]) MayBorrow(now clock.Millis, p model.Pool) bool {
 	if !l.On() {
 		return false
 	}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -119,9 +119,9 @@
 func TestHopeEndsWhenAllRefuse(t *testing.T) {
 	l := ledger()
 	o := plan(t, l, 100, need)
-	assert.Assert(t, l.Hope(120, "p"))
+	assert.Assert(t, l.MayBorrow(120, "p"))
 	l.Answered(120, o, 100, LoanResponse{Incarnation: 1, Lease: 1000}, true)
 	l.Plan(150, need, nil)
-	assert.Assert(t, !l.Hope(160, "p"))
-	assert.Assert(t, l.Hope(1150, "p"))
+	assert.Assert(t, !l.MayBorrow(160, "p"))
+	assert.Assert(t, l.MayBorrow(1150, "p"))
 }
