--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -107,7 +107,7 @@
 	// Proposals were appended on this member as leader, and Saves is the
 	// number of synced writes that carried them and all else.
 	Proposals int64
-	Saves     int64
+	LogWrites int64
 	Applied   int64
 	// DiskFailures counts failed writes, and SnapshotFailures failed local
 	// snapshots and failed reads of one.
--- a/core/coord/group/perform.go
+++ b/core/coord/group/perform.go
@@ -52,7 +52,7 @@
 		if err := g.storage.Save(out.Hard, out.Append); err != nil {
 			return failf("save", KindDisk, "%w", err)
 		}
-		g.counts.Saves++
+		g.counts.LogWrites++
 	}
 	if out.Install == nil {
 		return nil
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -231,7 +231,7 @@
 	}
 	counters(r, []counter{
 		{"proposals", consensusCount(func(n group.Counts) int64 { return n.Proposals })},
-		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.Saves })},
+		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.LogWrites })},
 		{"log-write-failures", consensusCount(func(n group.Counts) int64 { return n.DiskFailures })},
 		{"snapshots", consensusCount(func(n group.Counts) int64 { return n.Snapshots })},
 		{"snapshot-failures", consensusCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
