--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -111,10 +111,10 @@
 	Applied   int64
 	// DiskFailures counts failed writes, and SnapshotFailures failed local
 	// snapshots and failed reads of one.
-	DiskFailures     int64
-	SnapshotFailures int64
-	Snapshots        int64
-	Installs         int64
+	DiskFailures       int64
+	SnapshotFailures   int64
+	Snapshots          int64
+	InstalledSnapshots int64
 	// RefusedInputs counts inputs that found the ring full.
 	RefusedInputs int64
 	// DroppedMessages counts peer messages that were ignored while the disk failed.
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -251,7 +251,7 @@
 	c.start(m, &memory{stored: raft.StoredState{Self: m}})
 	c.join(lead, m, 3)
 	c.until("the state", func() bool { return c.contracts(9) == 60 })
-	assert.Equal(t, c.status(9).Counts.Installs, int64(1))
+	assert.Equal(t, c.status(9).Counts.InstalledSnapshots, int64(1))
 
 	c.links.cut(others(lead)[1], true)
 	assert.NilError(t, c.wait(c.propose(lead, apply("last", ""))).err)
--- a/core/coord/group/perform.go
+++ b/core/coord/group/perform.go
@@ -67,7 +67,7 @@
 	g.state = state
 	g.applied = out.Install.Index
 	g.snapped = out.Install.Index
-	g.counts.Installs++
+	g.counts.InstalledSnapshots++
 	return nil
 }
 
