--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -194,7 +194,7 @@
 	// before the first pass of a term must outlast the reset of that pass.
 	m.followTerm()
 	before := m.registry.Processes[i.report.Process].Drained
-	m.registry.Take(*i.report, m.Clock.Now())
+	m.registry.AddReport(*i.report, m.Clock.Now())
 	m.felt.add(i.report.Load)
 	m.Capacity.Report(i.report.Process, i.report.Demand, m.Clock.Now())
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -248,13 +248,13 @@
 func TestThawedEntryHearsAgain(t *testing.T) {
 	g := NewRegistry()
 	a := model.Announcement{Instance: "i0", Zone: "za", Incarnation: 1}
-	g.Take(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
-	g.Take(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
-	g.Take(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
+	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
+	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
+	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
 	g.Hush(SilentAfter + 1)
 	_, absent := g.Absent["i0"]
 	assert.Assert(t, absent, "only the frozen process hears it")
-	g.Take(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
+	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the thawed process hears it")
 	g.Hush(4 * SilentAfter)
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// Take adds a report. Reports of an older run of a process are ignored.
-func (g *Registry) Take(r follow.Report, now clock.Millis) {
+// AddReport adds a report. Reports of an older run of a process are ignored.
+func (g *Registry) AddReport(r follow.Report, now clock.Millis) {
 	held, known := g.Processes[r.Process]
 	if known && r.Incarnation < held.Incarnation {
 		return
