--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -25,7 +25,7 @@
 // period until their next maintenance starts now.
 func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
-	for id := range g.Fresh {
+	for id := range g.NewlyAnnounced {
 		l, live := g.Live[id]
 		_, known := t.Instances[id]
 		if !live || known || l.Announcement.State != model.AnnounceServing {
@@ -79,7 +79,7 @@
 		next.Reason = "lost: no entry process hears it"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
-	for id := range g.Fresh {
+	for id := range g.NewlyAnnounced {
 		i, ok := t.Instances[id]
 		if !ok || i.LostSince == 0 || i.Phase != model.PhaseServing {
 			continue
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -32,9 +32,9 @@
 	// Live holds, for each instance, the announcement and the entry processes
 	// that hear it.
 	Live map[model.InstanceID]LiveInstance
-	// Fresh holds the instances that were announced since the last Settle and
+	// NewlyAnnounced holds the instances that were announced since the last Settle and
 	// may have to be enrolled, so that a pass costs what changed.
-	Fresh map[model.InstanceID]bool
+	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds the watched instances that no entry process hears, or only
 	// quiet ones, with the time since when.
 	Absent map[model.InstanceID]clock.Millis
@@ -58,11 +58,11 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		Processes: map[model.Process]ProcessReport{},
-		Live:      map[model.InstanceID]LiveInstance{},
-		Fresh:     map[model.InstanceID]bool{},
-		Absent:    map[model.InstanceID]clock.Millis{},
-		Quiet:     map[model.Process]bool{},
+		Processes:      map[model.Process]ProcessReport{},
+		Live:           map[model.InstanceID]LiveInstance{},
+		NewlyAnnounced: map[model.InstanceID]bool{},
+		Absent:         map[model.InstanceID]clock.Millis{},
+		Quiet:          map[model.Process]bool{},
 	}
 }
 
@@ -137,7 +137,7 @@
 	for id, l := range g.Live {
 		if l.Heard[p] {
 			delete(g.Absent, id)
-			g.Fresh[id] = true
+			g.NewlyAnnounced[id] = true
 		}
 	}
 }
@@ -152,7 +152,7 @@
 	}
 	l.Heard[p] = true
 	g.Live[a.Instance] = l
-	g.Fresh[a.Instance] = true
+	g.NewlyAnnounced[a.Instance] = true
 	delete(g.Absent, a.Instance)
 }
 
@@ -207,11 +207,11 @@
 
 // Settle forgets the fresh instances that are part of the fleet.
 func (g *Registry) Settle(t model.Table) {
-	for id := range g.Fresh {
+	for id := range g.NewlyAnnounced {
 		_, known := t.Instances[id]
 		_, live := g.Live[id]
 		if known || !live {
-			delete(g.Fresh, id)
+			delete(g.NewlyAnnounced, id)
 		}
 	}
 }
