--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -37,7 +37,7 @@
 	if now-m.began >= warmUp {
 		steps = append(steps, MarkLost(m.table, m.registry, now)...)
 	}
-	m.registry.Settle(m.table)
+	m.registry.ClearEnrolled(m.table)
 	m.seeZones(now)
 	m.seeUnderWay()
 	m.seeFelt(now)
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -205,8 +205,8 @@
 	return true
 }
 
-// Settle forgets the fresh instances that are part of the fleet.
-func (g *Registry) Settle(t model.Table) {
+// ClearEnrolled forgets the fresh instances that are part of the fleet.
+func (g *Registry) ClearEnrolled(t model.Table) {
 	for id := range g.NewlyAnnounced {
 		_, known := t.Instances[id]
 		_, live := g.Live[id]
