--- a/core/state/sched/beat.go
+++ b/core/state/sched/beat.go
@@ -324,7 +324,7 @@
 	if w.weight >= b.judge.Threshold() && w.streak >= leastStreak && w.aside <= now {
 		w.aside = now + b.set.QuarantineMillis
 		w.weight = b.judge.Threshold() / 2
-		b.noteRun(DecisionAside, r, w, "it fails what its peers run")
+		b.noteRun(DecisionQuarantined, r, w, "it fails what its peers run")
 	}
 }
 
