--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -176,7 +176,7 @@
 	}
 	c := b.advice.counts[rec.Queue]
 	b.advice.counts[rec.Queue] = adviceCount{named: c.named + len(lives), good: c.good + good}
-	b.noteJob(DecisionAdvice, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
+	b.noteJob(DecisionAdviceReceived, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
 	b.dirty[b.pool(b.poolOf(rec))] = true
 }
 
