--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -161,7 +161,7 @@
 	step.next = now
 	if o.Answer != AnswerDone {
 		step.next = now + askRetry
-		b.noteJob(DecisionNoAdvice, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o), true)
+		b.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o), true)
 		return
 	}
 	for id, life := range lives {
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -16,7 +16,7 @@
 	DecisionStopped        Decision = "run-stopped"
 	DecisionQuarantined    Decision = "worker-set-aside"
 	DecisionAdviceReceived Decision = "advice-taken"
-	DecisionNoAdvice       Decision = "advice-missing"
+	DecisionAdviceMissing  Decision = "advice-missing"
 	DecisionLoad           Decision = "pool-load"
 	DecisionMoved          Decision = "machine-moved"
 	DecisionNotMoved       Decision = "machine-not-moved"
@@ -29,7 +29,7 @@
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionQuarantined, DecisionAdviceReceived, DecisionNoAdvice, DecisionLoad, DecisionMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
+	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionLoad, DecisionMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
 	DecisionNoMachine,
 }
 
