--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -132,7 +132,7 @@
 // one ended.
 func (d *Dispatcher[P, Q, L]) noteBorrowing(now clock.Millis) {
 	d.loans.EachPool(func(p model.Pool) {
-		slots := d.loans.Room(now, p)
+		slots := d.loans.BorrowedSlots(now, p)
 		if d.borrowing[p] != (slots > 0) {
 			d.borrowing[p] = slots > 0
 			d.event(model.Event{Kind: model.EventBorrowed, Pool: p, Detail: fmt.Sprintf("%d slots are borrowed", slots)})
@@ -148,7 +148,7 @@
 
 // room is the number of requests that own and borrowed slots run at once.
 func (d *Dispatcher[P, Q, L]) room(now clock.Millis, p model.Pool) int {
-	return d.router.Capacity(now, p) + d.loans.Room(now, p)
+	return d.router.Capacity(now, p) + d.loans.BorrowedSlots(now, p)
 }
 
 // pick reserves a slot: of the own share, or of a loan when that has no room.
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Room returns the slots of the loans held in a pool.
-func (l *Ledger[P]) Room(now clock.Millis, p model.Pool) int {
+// BorrowedSlots returns the slots of the loans held in a pool.
+func (l *Ledger[P]) BorrowedSlots(now clock.Millis, p model.Pool) int {
 	n := 0
 	if s := l.pools[p]; s != nil {
 		for _, h := range s.loans {
@@ -151,7 +151,7 @@
 		return false
 	}
 	s := l.pools[p]
-	return s == nil || s.pending > 0 || now >= s.until || l.Room(now, p) > 0
+	return s == nil || s.pending > 0 || now >= s.until || l.BorrowedSlots(now, p) > 0
 }
 
 // EndInstance ends the loans of an instance that left the pool.
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -88,7 +88,7 @@
 	o = plan(t, l, 600, nil)
 	assert.DeepEqual(t, o.Request.Renew, []ID{h.ID})
 	l.Answered(620, o, 600, LoanResponse{Incarnation: 1, Lease: 1000, Renewed: o.Request.Renew}, true)
-	assert.Equal(t, l.Room(1499, "p"), 2)
+	assert.Equal(t, l.BorrowedSlots(1499, "p"), 2)
 	l.Release(700, h, false, false)
 	o = plan(t, l, 1700, nil)
 	assert.DeepEqual(t, o.Return.IDs, []ID{h.ID})
@@ -104,7 +104,7 @@
 	o := plan(t, l, 100, need)
 	assert.Assert(t, l.Recalled(Recall{Lender: "a", Incarnation: 2}))
 	l.Answered(150, o, 100, answer(1, o), true)
-	assert.Equal(t, l.Room(150, "p"), 0)
+	assert.Equal(t, l.BorrowedSlots(150, "p"), 0)
 	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Request.Number)})
 
 	a := New(Settings{Self: "a", Lease: 1000, MaxRequestTime: 5000}, Idle{}, 0)
