--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -36,7 +36,7 @@
 // without one.
 func (d *Dispatcher[P, Q, L]) Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
 	d.onLoans(func(now clock.Millis) {
-		d.loans.Answered(now, o, asked, a, ok)
+		d.loans.HandleResponse(now, o, asked, a, ok)
 		for _, l := range a.Loans {
 			// The own table may be newer than the lender's.
 			if i, known := d.table.Instances[l.Instance]; known {
@@ -121,7 +121,7 @@
 func (d *Dispatcher[P, Q, L]) unsent(now clock.Millis, o lend.Message) {
 	switch o.Kind {
 	case lend.MessageRequest:
-		d.loans.Answered(now, o, now, lend.LoanResponse{}, false)
+		d.loans.HandleResponse(now, o, now, lend.LoanResponse{}, false)
 	case lend.MessageReturn:
 		d.loans.Returned(o, false)
 	case lend.MessageRecall:
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -178,10 +178,10 @@
 	return clear
 }
 
-// Answered takes in the answer to an ask that was sent at asked. Without an
+// HandleResponse takes in the answer to an ask that was sent at asked. Without an
 // answer, ok is false: the lender may have granted loans, which are then
 // returned unused.
-func (l *Ledger[P]) Answered(now clock.Millis, o Message, asked clock.Millis, a LoanResponse, ok bool) {
+func (l *Ledger[P]) HandleResponse(now clock.Millis, o Message, asked clock.Millis, a LoanResponse, ok bool) {
 	to, s := l.lenders[o.To], l.purse(o.Request.Pool)
 	to.busy = false
 	if !ok {
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -262,7 +262,7 @@
 	l := m.from.ledger
 	switch m.order.Kind {
 	case lend.MessageRequest:
-		l.Answered(w.at(m.from), m.order, m.asked, m.answer, ok)
+		l.HandleResponse(w.at(m.from), m.order, m.asked, m.answer, ok)
 		for _, i := range w.table {
 			if i.Version <= m.from.version {
 				l.EndInstance(i)
