--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -28,7 +28,7 @@
 // Recalled ends the loans from an earlier run of a lender and reports whether
 // all of them are over.
 func (d *Dispatcher[P, Q, L]) Recalled(r lend.Recall) (clear bool) {
-	d.onLoans(func(clock.Millis) { clear = d.loans.Recalled(r) })
+	d.onLoans(func(clock.Millis) { clear = d.loans.HandleRecall(r) })
 	return clear
 }
 
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// Recalled ends the loans of an earlier run of a lender, and reports whether
+// HandleRecall ends the loans of an earlier run of a lender, and reports whether
 // all of them are over, their connections included.
-func (l *Ledger[P]) Recalled(r Recall) (clear bool) {
+func (l *Ledger[P]) HandleRecall(r Recall) (clear bool) {
 	if from := l.lenders[r.Lender]; from != nil {
 		from.incarnation = r.Incarnation
 	}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -102,7 +102,7 @@
 func TestVoidAnswers(t *testing.T) {
 	l := ledger()
 	o := plan(t, l, 100, need)
-	assert.Assert(t, l.Recalled(Recall{Lender: "a", Incarnation: 2}))
+	assert.Assert(t, l.HandleRecall(Recall{Lender: "a", Incarnation: 2}))
 	l.HandleResponse(150, o, 100, answer(1, o), true)
 	assert.Equal(t, l.BorrowedSlots(150, "p"), 0)
 	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Request.Number)})
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -249,7 +249,7 @@
 	case lend.MessageReturn:
 		m.to.ledger.TakeBack(m.order.Return)
 	case lend.MessageRecall:
-		m.clear = m.to.ledger.Recalled(m.order.Recall)
+		m.clear = m.to.ledger.HandleRecall(m.order.Recall)
 	}
 	w.sync(m.to)
 }
