--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -22,7 +22,7 @@
 
 // TakeBack takes in loans that another entry process returns.
 func (d *Dispatcher[P, Q, L]) TakeBack(r lend.Return) {
-	d.onLoans(func(clock.Millis) { d.loans.TakeBack(r) })
+	d.onLoans(func(clock.Millis) { d.loans.HandleReturn(r) })
 }
 
 // Recalled ends the loans from an earlier run of a lender and reports whether
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -177,9 +177,9 @@
 	l.changed = append(l.changed, id)
 }
 
-// TakeBack takes returned loans in. Unknown ones are ignored: they were
+// HandleReturn takes returned loans in. Unknown ones are ignored: they were
 // returned before, or their time has passed.
-func (l *Ledger[P]) TakeBack(r Return) {
+func (l *Ledger[P]) HandleReturn(r Return) {
 	for _, id := range r.IDs {
 		if id&(1<<partBits-1) != 0 {
 			l.end(key{r.Borrower, r.Incarnation, id})
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -111,7 +111,7 @@
 	granted := a.Grant(0, o.Request, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, ConnectionsPerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
-	a.TakeBack(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Request.Number)}})
+	a.HandleReturn(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Request.Number)}})
 	assert.Equal(t, a.Lent("i"), 0)
 }
 
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -247,7 +247,7 @@
 			return m.to.router.UpstreamSlots(id, func(model.Pool) int { return 0 })
 		})
 	case lend.MessageReturn:
-		m.to.ledger.TakeBack(m.order.Return)
+		m.to.ledger.HandleReturn(m.order.Return)
 	case lend.MessageRecall:
 		m.clear = m.to.ledger.HandleRecall(m.order.Recall)
 	}
