--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -54,7 +54,7 @@
 // Acknowledged notes that a process holds no loan of an earlier run of this
 // one.
 func (d *Dispatcher[P, Q, L]) Acknowledged(from model.Process) {
-	d.onLoans(func(clock.Millis) { d.loans.Acknowledged(from) })
+	d.onLoans(func(clock.Millis) { d.loans.HandleRecallAck(from) })
 }
 
 // Leave ends the loans held and returns the orders that give them back.
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -81,8 +81,8 @@
 	return len(l.unheard) > 0
 }
 
-// Acknowledged notes that a process holds no loan of an earlier run.
-func (l *Ledger[P]) Acknowledged(from model.Process) { delete(l.unheard, from) }
+// HandleRecallAck notes that a process holds no loan of an earlier run.
+func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.unheard, from) }
 
 // Lent returns the slots of an own upstream that are lent.
 func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lent[id] }
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -272,7 +272,7 @@
 		l.Returned(m.order, ok)
 	case lend.MessageRecall:
 		if ok && m.clear {
-			l.Acknowledged(m.to.member.Name)
+			l.HandleRecallAck(m.to.member.Name)
 		}
 	}
 	w.sync(m.from)
@@ -339,7 +339,7 @@
 		for _, p := range w.procs {
 			// No process has run before.
 			for _, o := range w.procs {
-				p.ledger.Acknowledged(o.member.Name)
+				p.ledger.HandleRecallAck(o.member.Name)
 			}
 			w.sync(p)
 		}
