--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -48,7 +48,7 @@
 
 // Returned notes how an order to return loans ended.
 func (d *Dispatcher[P, Q, L]) Returned(o lend.Message, ok bool) {
-	d.onLoans(func(clock.Millis) { d.loans.Returned(o, ok) })
+	d.onLoans(func(clock.Millis) { d.loans.HandleReturnResult(o, ok) })
 }
 
 // Acknowledged notes that a process holds no loan of an earlier run of this
@@ -123,7 +123,7 @@
 	case lend.MessageRequest:
 		d.loans.HandleResponse(now, o, now, lend.LoanResponse{}, false)
 	case lend.MessageReturn:
-		d.loans.Returned(o, false)
+		d.loans.HandleReturnResult(o, false)
 	case lend.MessageRecall:
 	}
 }
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -257,9 +257,9 @@
 	}
 }
 
-// Returned notes that the lender has taken loans back; ok is false without an
+// HandleReturnResult notes that the lender has taken loans back; ok is false without an
 // answer.
-func (l *Ledger[P]) Returned(o Message, ok bool) {
+func (l *Ledger[P]) HandleReturnResult(o Message, ok bool) {
 	l.lenders[o.To].busy = false
 	for _, id := range o.Return.IDs {
 		if h := l.held[id]; h != nil && ok {
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -93,7 +93,7 @@
 	o = plan(t, l, 1700, nil)
 	assert.DeepEqual(t, o.Return.IDs, []ID{h.ID})
 	assert.DeepEqual(t, o.CloseConnections, []string{h.Name()})
-	l.Returned(o, true)
+	l.HandleReturnResult(o, true)
 	assert.Equal(t, l.Counts.HeldSlots, int64(0))
 }
 
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -269,7 +269,7 @@
 			}
 		}
 	case lend.MessageReturn:
-		l.Returned(m.order, ok)
+		l.HandleReturnResult(m.order, ok)
 	case lend.MessageRecall:
 		if ok && m.clear {
 			l.HandleRecallAck(m.to.member.Name)
