--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -153,7 +153,7 @@
 	zoneRank, zoneCount := admit.Rank(near, cfg.Self)
 	d.router = route.New(route.Settings{
 		Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount,
-		Lending: d.loans.On(), ReservePercent: cfg.Lending.ReservePercent,
+		Lending: d.loans.Enabled(), ReservePercent: cfg.Lending.ReservePercent,
 	}, policy)
 	d.router.LoansUncertain = d.loans.Quarantined(clk.Now())
 	d.asks.New = func() any { return &ask{reply: make(chan struct{}, 1)} }
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -89,7 +89,7 @@
 
 // tickLoans hands out the messages that are due.
 func (d *Dispatcher[P, Q, L]) tickLoans(now clock.Millis) {
-	if !d.loans.On() {
+	if !d.loans.Enabled() {
 		return
 	}
 	d.loans.Expire(now)
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -147,7 +147,7 @@
 // MayBorrow reports whether a process without own slots of the pool may get some:
 // it holds loans, or a search has not yet ended without one.
 func (l *Ledger[P]) MayBorrow(now clock.Millis, p model.Pool) bool {
-	if !l.On() {
+	if !l.Enabled() {
 		return false
 	}
 	s := l.pools[p]
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -68,8 +68,8 @@
 	return l
 }
 
-// On reports whether lending is turned on.
-func (l *Ledger[P]) On() bool { return l.cfg.Lease > 0 }
+// Enabled reports whether lending is turned on.
+func (l *Ledger[P]) Enabled() bool { return l.cfg.Lease > 0 }
 
 // Quarantined reports whether loans of an earlier run of this process may be
 // in use: its lendable slots must then stay unused, and it must confirm no
@@ -100,7 +100,7 @@
 // each once; find returns one upstream, false when it is not routable.
 func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
 	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
-	if !l.On() || l.Quarantined(now) {
+	if !l.Enabled() || l.Quarantined(now) {
 		return out
 	}
 	until := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, a.MaxRequestTime)
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -11,7 +11,7 @@
 // renewals, returns and recalls. At most one ask or return is under way to a
 // process.
 func (l *Ledger[P]) Plan(now clock.Millis, needs []PoolDemand, buf []Message) []Message {
-	if !l.On() {
+	if !l.Enabled() {
 		return buf
 	}
 	buf = l.recalls(now, buf)
