--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -75,7 +75,7 @@
 // syncLoans tells the router which own slots are lent.
 func (d *Dispatcher[P, Q, L]) syncLoans(now clock.Millis) {
 	d.router.LoansUncertain = d.loans.Quarantined(now)
-	d.loans.Changed(func(id model.InstanceID, lent int) {
+	d.loans.TakeChanges(func(id model.InstanceID, lent int) {
 		before := d.router.SetLent(id, lent)
 		if (before == 0) != (lent == 0) {
 			d.event(model.Event{Kind: model.EventLent, Instance: id, Detail: fmt.Sprintf("%d slots are lent", lent)})
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -87,9 +87,9 @@
 // Lent returns the slots of an own upstream that are lent.
 func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lent[id] }
 
-// Changed calls f for each instance whose lent slots changed since the last
+// TakeChanges calls f for each instance whose lent slots changed since the last
 // call.
-func (l *Ledger[P]) Changed(f func(id model.InstanceID, lent int)) {
+func (l *Ledger[P]) TakeChanges(f func(id model.InstanceID, lent int)) {
 	for _, id := range l.changed {
 		f(id, l.lent[id])
 	}
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -140,7 +140,7 @@
 
 func (w *world) sync(p *proc) {
 	p.router.LoansUncertain = p.ledger.Quarantined(w.at(p))
-	p.ledger.Changed(func(id model.InstanceID, n int) { p.router.SetLent(id, n) })
+	p.ledger.TakeChanges(func(id model.InstanceID, n int) { p.router.SetLent(id, n) })
 }
 
 func (w *world) proc() *proc { return w.procs[w.rng.IntN(len(w.procs))] }
