--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -97,12 +97,12 @@
 	for _, i := range delta.Instances {
 		d.countSlots(i.ID, i)
 		d.router.SetInstance(now, i, before.Version)
-		d.loans.EndInstance(i)
+		d.loans.EndLoansOf(i)
 	}
 	for _, id := range delta.RemovedInstances {
 		d.countSlots(id, model.Instance{})
 		d.router.RemoveInstance(now, id, before.Version)
-		d.loans.EndInstance(model.Instance{ID: id, Phase: model.PhaseRetired})
+		d.loans.EndLoansOf(model.Instance{ID: id, Phase: model.PhaseRetired})
 	}
 	for _, c := range delta.Contracts {
 		d.setContract(c)
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -40,7 +40,7 @@
 		for _, l := range a.Loans {
 			// The own table may be newer than the lender's.
 			if i, known := d.table.Instances[l.Instance]; known {
-				d.loans.EndInstance(i)
+				d.loans.EndLoansOf(i)
 			}
 		}
 	})
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -154,8 +154,8 @@
 	return s == nil || s.pending > 0 || now >= s.until || l.BorrowedSlots(now, p) > 0
 }
 
-// EndInstance ends the loans of an instance that left the pool.
-func (l *Ledger[P]) EndInstance(i model.Instance) {
+// EndLoansOf ends the loans of an instance that left the pool.
+func (l *Ledger[P]) EndLoansOf(i model.Instance) {
 	for _, h := range l.held {
 		if h.Instance == i.ID && (i.Phase != model.PhaseServing || i.Pool != h.Pool) {
 			h.ended = true
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -133,7 +133,7 @@
 	for _, i := range w.table {
 		if i.Version > before {
 			p.router.SetInstance(w.at(p), i, before)
-			p.ledger.EndInstance(i)
+			p.ledger.EndLoansOf(i)
 		}
 	}
 }
@@ -265,7 +265,7 @@
 		l.HandleResponse(w.at(m.from), m.order, m.asked, m.answer, ok)
 		for _, i := range w.table {
 			if i.Version <= m.from.version {
-				l.EndInstance(i)
+				l.EndLoansOf(i)
 			}
 		}
 	case lend.MessageReturn:
