--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -38,10 +38,10 @@
 	// Absent holds the watched instances that no entry process hears, or only
 	// quiet ones, with the time since when.
 	Absent map[model.InstanceID]clock.Millis
-	// Quiet holds the entry processes that stopped reporting while others of
+	// SilentProcesses holds the entry processes that stopped reporting while others of
 	// their zone go on. What they heard last does not make an instance present:
 	// they may never come back, and would hide its loss.
-	Quiet map[model.Process]bool
+	SilentProcesses map[model.Process]bool
 	// Gone holds the entry processes that were declared gone; runs that began
 	// before the time have ended.
 	Gone map[model.Process]clock.Millis
@@ -58,11 +58,11 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		Processes:      map[model.Process]ProcessReport{},
-		Live:           map[model.InstanceID]LiveInstance{},
-		NewlyAnnounced: map[model.InstanceID]bool{},
-		Absent:         map[model.InstanceID]clock.Millis{},
-		Quiet:          map[model.Process]bool{},
+		Processes:       map[model.Process]ProcessReport{},
+		Live:            map[model.InstanceID]LiveInstance{},
+		NewlyAnnounced:  map[model.InstanceID]bool{},
+		Absent:          map[model.InstanceID]clock.Millis{},
+		SilentProcesses: map[model.Process]bool{},
 	}
 }
 
@@ -82,7 +82,7 @@
 	held.Drained = r.Drained
 	held.LastReportAt = now
 	g.Processes[r.Process] = held
-	if g.Quiet[r.Process] {
+	if g.SilentProcesses[r.Process] {
 		g.unhush(r.Process)
 	}
 	for _, a := range r.Live {
@@ -105,7 +105,7 @@
 // instance.
 func (g *Registry) present(id model.InstanceID) bool {
 	for p := range g.Live[id].Heard {
-		if !g.Quiet[p] {
+		if !g.SilentProcesses[p] {
 			return true
 		}
 	}
@@ -118,10 +118,10 @@
 // instances only when one becomes quiet.
 func (g *Registry) Hush(now clock.Millis) {
 	for _, r := range g.Processes {
-		if g.Quiet[r.Process] || now-r.LastReportAt <= SilentAfter || g.Silent(r.Zone, now) {
+		if g.SilentProcesses[r.Process] || now-r.LastReportAt <= SilentAfter || g.Silent(r.Zone, now) {
 			continue
 		}
-		g.Quiet[r.Process] = true
+		g.SilentProcesses[r.Process] = true
 		for id, l := range g.Live {
 			if l.Heard[r.Process] {
 				g.Watch(id, now)
@@ -133,7 +133,7 @@
 // unhush makes present again what an entry process hears that reports again.
 // A process that was only frozen reports no more than what changed.
 func (g *Registry) unhush(p model.Process) {
-	delete(g.Quiet, p)
+	delete(g.SilentProcesses, p)
 	for id, l := range g.Live {
 		if l.Heard[p] {
 			delete(g.Absent, id)
