--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -71,7 +71,7 @@
 		if !ok || i.Phase != model.PhaseServing {
 			continue
 		}
-		if i.LostSince != 0 || now-since < LossGrace || g.Silent(i.Zone, now) {
+		if i.LostSince != 0 || now-since < LossGrace || g.ZoneSilent(i.Zone, now) {
 			continue
 		}
 		next := i
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -133,7 +133,7 @@
 	}
 	changed := map[model.Zone]bool{}
 	for _, e := range m.Entries {
-		if quiet := m.registry.Silent(e.Zone, now); quiet != m.silent[e.Zone] {
+		if quiet := m.registry.ZoneSilent(e.Zone, now); quiet != m.silent[e.Zone] {
 			m.silent[e.Zone] = quiet
 			changed[e.Zone] = true
 		}
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -118,7 +118,7 @@
 // instances only when one becomes quiet.
 func (g *Registry) Hush(now clock.Millis) {
 	for _, r := range g.Processes {
-		if g.SilentProcesses[r.Process] || now-r.LastReportAt <= SilentAfter || g.Silent(r.Zone, now) {
+		if g.SilentProcesses[r.Process] || now-r.LastReportAt <= SilentAfter || g.ZoneSilent(r.Zone, now) {
 			continue
 		}
 		g.SilentProcesses[r.Process] = true
@@ -195,8 +195,8 @@
 	return missing
 }
 
-// Silent reports whether no entry process of the zone has reported lately.
-func (g *Registry) Silent(zone model.Zone, now clock.Millis) bool {
+// ZoneSilent reports whether no entry process of the zone has reported lately.
+func (g *Registry) ZoneSilent(zone model.Zone, now clock.Millis) bool {
 	for _, r := range g.Processes {
 		if r.Zone == zone && now-r.LastReportAt <= SilentAfter {
 			return false
