--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -251,13 +251,13 @@
 	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
 	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
 	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
-	g.Hush(SilentAfter + 1)
+	g.MarkSilentProcesses(SilentAfter + 1)
 	_, absent := g.Absent["i0"]
 	assert.Assert(t, absent, "only the frozen process hears it")
 	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the thawed process hears it")
-	g.Hush(4 * SilentAfter)
+	g.MarkSilentProcesses(4 * SilentAfter)
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the zone is silent as a whole")
 }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -33,7 +33,7 @@
 	steps := Enrol(m.table, m.registry, now)
 	moved, waits := m.finishMoves()
 	steps = append(steps, moved...)
-	m.registry.Hush(now)
+	m.registry.MarkSilentProcesses(now)
 	if now-m.began >= warmUp {
 		steps = append(steps, MarkLost(m.table, m.registry, now)...)
 	}
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -112,11 +112,11 @@
 	return false
 }
 
-// Hush finds the entry processes that became quiet. Those of a zone that is
+// MarkSilentProcesses finds the entry processes that became quiet. Those of a zone that is
 // silent as a whole do not count: it may be partitioned and serve its own
 // callers. Its cost follows the number of entry processes, and the number of
 // instances only when one becomes quiet.
-func (g *Registry) Hush(now clock.Millis) {
+func (g *Registry) MarkSilentProcesses(now clock.Millis) {
 	for _, r := range g.Processes {
 		if g.SilentProcesses[r.Process] || now-r.LastReportAt <= SilentAfter || g.ZoneSilent(r.Zone, now) {
 			continue
