--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -17,7 +17,7 @@
 	DecisionQuarantined    Decision = "worker-set-aside"
 	DecisionAdviceReceived Decision = "advice-taken"
 	DecisionAdviceMissing  Decision = "advice-missing"
-	DecisionLoad           Decision = "pool-load"
+	DecisionPoolLoad       Decision = "pool-load"
 	DecisionMoved          Decision = "machine-moved"
 	DecisionNotMoved       Decision = "machine-not-moved"
 	DecisionNoList         Decision = "machines-not-listed"
@@ -29,7 +29,7 @@
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionLoad, DecisionMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
+	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
 	DecisionNoMachine,
 }
 
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -140,7 +140,7 @@
 				serving++
 			}
 		}
-		b.noteFleet(DecisionLoad, fmt.Sprintf(
+		b.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
 			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work()/1000))
 	}
