--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -18,7 +18,7 @@
 	DecisionAdviceReceived Decision = "advice-taken"
 	DecisionAdviceMissing  Decision = "advice-missing"
 	DecisionPoolLoad       Decision = "pool-load"
-	DecisionMoved          Decision = "machine-moved"
+	DecisionMachineMoved   Decision = "machine-moved"
 	DecisionNotMoved       Decision = "machine-not-moved"
 	DecisionNoList         Decision = "machines-not-listed"
 	DecisionMaintain       Decision = "maintenance-ordered"
@@ -29,7 +29,7 @@
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
+	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
 	DecisionNoMachine,
 }
 
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -441,7 +441,7 @@
 	}
 	switch o.Answer {
 	case AnswerDone:
-		b.noteFleet(DecisionMoved, string(a.Machine)+" to "+string(a.Pool))
+		b.noteFleet(DecisionMachineMoved, string(a.Machine)+" to "+string(a.Pool))
 		if same {
 			b.remove(w, "its machine is moved", now)
 		}
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -28,7 +28,7 @@
 		{Decision: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
 		{Decision: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
 		{Decision: sched.DecisionFailed, Task: jobs.TaskID{Job: "j-1"}, Reason: "after 9 ms", Important: true},
-		{Decision: sched.DecisionMoved, Reason: "m-1 to p"},
+		{Decision: sched.DecisionMachineMoved, Reason: "m-1 to p"},
 	})
 	golden.Assert(t, out.String(), "note-lines.txt")
 }
