--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -437,7 +437,7 @@
 	w := b.machines[a.Machine]
 	same := w != nil && w.life == v.life
 	if o.Answer != AnswerDone {
-		b.noteFleet(DecisionNotMoved, fmt.Sprintf("%s to %s: %s", a.Machine, a.Pool, o))
+		b.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to %s: %s", a.Machine, a.Pool, o))
 	}
 	switch o.Answer {
 	case AnswerDone:
