--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -20,7 +20,7 @@
 	DecisionPoolLoad        Decision = "pool-load"
 	DecisionMachineMoved    Decision = "machine-moved"
 	DecisionMachineNotMoved Decision = "machine-not-moved"
-	DecisionNoList          Decision = "machines-not-listed"
+	DecisionListFailed      Decision = "machines-not-listed"
 	DecisionMaintain        Decision = "maintenance-ordered"
 	DecisionMaintained      Decision = "maintenance-answered"
 	DecisionNoMachine       Decision = "maintenance-dropped"
@@ -29,7 +29,7 @@
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionNoList, DecisionMaintain, DecisionMaintained,
+	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintain, DecisionMaintained,
 	DecisionNoMachine,
 }
 
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -188,7 +188,7 @@
 	if o.Answer != AnswerDone {
 		// Machines that are off are not known, but those of the pools are.
 		f.unlisted = true
-		b.noteFleet(DecisionNoList, o.String())
+		b.noteFleet(DecisionListFailed, o.String())
 		return
 	}
 	f.listed = now
