--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -308,7 +308,7 @@
 			}
 		}
 	}
-	b.noteFleet(DecisionMaintain, reason)
+	b.noteFleet(DecisionMaintenanceOrdered, reason)
 }
 
 // Answer is what the platform said to a maintenance order.
