--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -7,29 +7,29 @@
 
 // The decisions.
 const (
-	DecisionAccepted           Decision = "job-accepted"
-	DecisionCompleted          Decision = "job-completed"
-	DecisionFailed             Decision = "job-failed"
-	DecisionCancelled          Decision = "job-cancelled"
-	DecisionStarted            Decision = "run-started"
-	DecisionEnded              Decision = "run-ended"
-	DecisionStopped            Decision = "run-stopped"
-	DecisionQuarantined        Decision = "worker-set-aside"
-	DecisionAdviceReceived     Decision = "advice-taken"
-	DecisionAdviceMissing      Decision = "advice-missing"
-	DecisionPoolLoad           Decision = "pool-load"
-	DecisionMachineMoved       Decision = "machine-moved"
-	DecisionMachineNotMoved    Decision = "machine-not-moved"
-	DecisionListFailed         Decision = "machines-not-listed"
-	DecisionMaintenanceOrdered Decision = "maintenance-ordered"
-	DecisionMaintained         Decision = "maintenance-answered"
-	DecisionNoMachine          Decision = "maintenance-dropped"
+	DecisionAccepted            Decision = "job-accepted"
+	DecisionCompleted           Decision = "job-completed"
+	DecisionFailed              Decision = "job-failed"
+	DecisionCancelled           Decision = "job-cancelled"
+	DecisionStarted             Decision = "run-started"
+	DecisionEnded               Decision = "run-ended"
+	DecisionStopped             Decision = "run-stopped"
+	DecisionQuarantined         Decision = "worker-set-aside"
+	DecisionAdviceReceived      Decision = "advice-taken"
+	DecisionAdviceMissing       Decision = "advice-missing"
+	DecisionPoolLoad            Decision = "pool-load"
+	DecisionMachineMoved        Decision = "machine-moved"
+	DecisionMachineNotMoved     Decision = "machine-not-moved"
+	DecisionListFailed          Decision = "machines-not-listed"
+	DecisionMaintenanceOrdered  Decision = "maintenance-ordered"
+	DecisionMaintenanceAnswered Decision = "maintenance-answered"
+	DecisionNoMachine           Decision = "maintenance-dropped"
 )
 
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintained,
+	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionNoMachine,
 }
 
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -356,7 +356,7 @@
 		return
 	}
 	delete(v.flying, o.Machine)
-	b.noteFleet(DecisionMaintained, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
+	b.noteFleet(DecisionMaintenanceAnswered, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
 	switch out.Answer {
 	case AnswerDone:
 		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
