--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -23,14 +23,14 @@
 	DecisionListFailed          Decision = "machines-not-listed"
 	DecisionMaintenanceOrdered  Decision = "maintenance-ordered"
 	DecisionMaintenanceAnswered Decision = "maintenance-answered"
-	DecisionNoMachine           Decision = "maintenance-dropped"
+	DecisionMaintenanceDropped  Decision = "maintenance-dropped"
 )
 
 // Decisions lists all decisions, for the page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
 	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
-	DecisionNoMachine,
+	DecisionMaintenanceDropped,
 }
 
 // finalDecision returns the decision that gave a job its final status; empty for
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -401,7 +401,7 @@
 			}
 			b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: v.Number, Machine: m}, now)
 			delete(v.away, m)
-			b.noteFleet(DecisionNoMachine, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
+			b.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
 		}
 	}
 }
