--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -303,7 +303,7 @@
 		for _, a := range actions(p, ActionMaintain) {
 			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
-		for _, a := range actions(p, ActionList) {
+		for _, a := range actions(p, ActionListMachines) {
 			lists++
 			// The first list still names the machine.
 			machines := []Machine{{ID: "m-other", Pool: "p", Up: true}}
@@ -347,8 +347,8 @@
 	r.now += r.set.TakeoverDelayMillis
 	r.hear("w1", 1, nil)
 	p := r.Pass(r.now)
-	assert.Equal(t, len(actions(p, ActionList)), 1)
-	r.HandleOutcome(actions(p, ActionList)[0], Outcome{Machines: []Machine{
+	assert.Equal(t, len(actions(p, ActionListMachines)), 1)
+	r.HandleOutcome(actions(p, ActionListMachines)[0], Outcome{Machines: []Machine{
 		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -176,7 +176,7 @@
 	}
 	if !f.listing && (f.asked == 0 || now-f.asked >= wait) {
 		f.listing, f.asked = true, now
-		b.out.Actions = append(b.out.Actions, Action{Kind: ActionList})
+		b.out.Actions = append(b.out.Actions, Action{Kind: ActionListMachines})
 	}
 	return f.listed != 0 || f.unlisted
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -149,8 +149,8 @@
 	ActionMaintain ActionKind = iota
 	// ActionMove moves a machine to a pool; what runs on it ends.
 	ActionMove
-	// ActionList asks for the machines of all pools.
-	ActionList
+	// ActionListMachines asks for the machines of all pools.
+	ActionListMachines
 	// ActionAdvise asks which of Workers may run a step.
 	ActionAdvise
 )
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -343,7 +343,7 @@
 		b.maintained(a, o, now)
 	case ActionMove:
 		b.moved(a, o, now)
-	case ActionList:
+	case ActionListMachines:
 		b.machinesListed(o, now)
 	case ActionAdvise:
 		b.answered(a, o, now)
