--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -331,8 +331,8 @@
 	return r.FirstDue + clock.Millis(occurrence)*r.Interval
 }
 
-// Chain returns the length of the longest chain of steps by their estimates.
-func (j *Job) Chain() clock.Millis {
+// CriticalPath returns the length of the longest chain of steps by their estimates.
+func (j *Job) CriticalPath() clock.Millis {
 	var longest clock.Millis
 	ends := make([]clock.Millis, len(j.Steps))
 	for i := range j.Steps {
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -99,5 +99,5 @@
 // as if they followed on each other.
 func TestObjectiveChain(t *testing.T) {
 	j := Job{Steps: []Step{{Estimate: 100}, {Estimate: 300}, {Estimate: 50, DependsOn: []int{0}}, {Estimate: 10, DependsOn: []int{1, 2}}}}
-	assert.Equal(t, j.Chain(), clock.Millis(310))
+	assert.Equal(t, j.CriticalPath(), clock.Millis(310))
 }
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -34,7 +34,7 @@
 // Deadline is the latest time at which a job is on time.
 func Deadline(r *jobs.Record, occurrence int) clock.Millis {
 	from := max(r.AcceptedAt, r.Due(occurrence))
-	return from + r.Target + r.Chain()*clock.Millis(r.StretchPermille)/1000
+	return from + r.Target + r.CriticalPath()*clock.Millis(r.StretchPermille)/1000
 }
 
 // EarliestDeadline is for loads that exceed the workers for some seconds and
