--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -59,7 +59,7 @@
 
 // Leave ends the loans held and returns the orders that give them back.
 func (d *Dispatcher[P, Q, L]) Leave() (orders []lend.Message) {
-	d.onLoans(func(now clock.Millis) { orders = d.loans.Leave(now) })
+	d.onLoans(func(now clock.Millis) { orders = d.loans.ReturnAll(now) })
 	return orders
 }
 
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// Leave ends all loans held and returns the orders that give back those without
+// ReturnAll ends all loans held and returns the orders that give back those without
 // a request.
-func (l *Ledger[P]) Leave(now clock.Millis) []Message {
+func (l *Ledger[P]) ReturnAll(now clock.Millis) []Message {
 	for _, to := range l.lenders {
 		to.busy, to.again = false, 0
 	}
