--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -111,7 +111,7 @@
 	}
 	delete(m.rebooted, i.ID)
 	if i.Phase == model.PhaseServing {
-		m.registry.Watch(i.ID, now)
+		m.registry.MarkAbsentIfUnreported(i.ID, now)
 		m.see(i.ID, keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince}))
 	}
 }
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// Watch makes an instance absent from now on unless an entry process hears it.
-func (g *Registry) Watch(id model.InstanceID, now clock.Millis) {
+// MarkAbsentIfUnreported makes an instance absent from now on unless an entry process hears it.
+func (g *Registry) MarkAbsentIfUnreported(id model.InstanceID, now clock.Millis) {
 	_, absent := g.Absent[id]
 	if !absent && !g.present(id) {
 		g.Absent[id] = now
@@ -124,7 +124,7 @@
 		g.SilentProcesses[r.Process] = true
 		for id, l := range g.Live {
 			if l.Heard[r.Process] {
-				g.Watch(id, now)
+				g.MarkAbsentIfUnreported(id, now)
 			}
 		}
 	}
@@ -165,7 +165,7 @@
 	if len(l.Heard) == 0 {
 		delete(g.Live, id)
 	}
-	g.Watch(id, now)
+	g.MarkAbsentIfUnreported(id, now)
 }
 
 func (g *Registry) forget(p model.Process, now clock.Millis) {
