--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -42,9 +42,9 @@
 	// their zone go on. What they heard last does not make an instance present:
 	// they may never come back, and would hide its loss.
 	SilentProcesses map[model.Process]bool
-	// Gone holds the entry processes that were declared gone; runs that began
+	// DeclaredGone holds the entry processes that were declared gone; runs that began
 	// before the time have ended.
-	Gone map[model.Process]clock.Millis
+	DeclaredGone map[model.Process]clock.Millis
 }
 
 // LiveInstance is an instance that at least one entry process hears.
@@ -183,7 +183,7 @@
 			continue
 		}
 		r, ok := g.Processes[m.Name]
-		gone, declared := g.Gone[m.Name]
+		gone, declared := g.DeclaredGone[m.Name]
 		// An incarnation is the time at which the run began.
 		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
 			continue
