--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -38,7 +38,7 @@
 }
 
 // Follow tells the board what changed in the replicated state.
-func (b *WavePlanner[P, J]) Follow(c Changed) {
+func (b *WavePlanner[P, J]) Follow(c StateChanges) {
 	for _, x := range c.Delta.Contracts {
 		b.board.SetContract(x)
 	}
@@ -79,8 +79,8 @@
 // Pass returns the steps that are due.
 func (b *WavePlanner[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
 
-// Changed is what a pass of the mover found new in the replicated state.
-type Changed struct {
+// StateChanges is what a pass of the mover found new in the replicated state.
+type StateChanges struct {
 	Delta       model.Delta
 	Maintenance map[string]model.Maintenance
 	Gone        map[model.Process]clock.Millis
@@ -90,8 +90,8 @@
 }
 
 // collect reads what changed after a version and an outage.
-func collect(s *fleet.State, from model.Version, after model.Outage) Changed {
-	c := Changed{Delta: s.Delta(from), Maintenance: make(map[string]model.Maintenance, len(s.Maintenance))}
+func collect(s *fleet.State, from model.Version, after model.Outage) StateChanges {
+	c := StateChanges{Delta: s.Delta(from), Maintenance: make(map[string]model.Maintenance, len(s.Maintenance))}
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -73,7 +73,7 @@
 func (m *Mover[G, P, C, J, A, S]) refresh(now clock.Millis) bool {
 	ctx, cancel := m.deadline()
 	defer cancel()
-	var c Changed
+	var c StateChanges
 	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.outage) })
 	if err != nil {
 		return false
