--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -81,9 +81,9 @@
 
 // StateChanges is what a pass of the mover found new in the replicated state.
 type StateChanges struct {
-	Delta       model.Delta
-	Maintenance map[string]model.Maintenance
-	Gone        map[model.Process]clock.Millis
+	Delta        model.Delta
+	Maintenance  map[string]model.Maintenance
+	DeclaredGone map[model.Process]clock.Millis
 	// Outages lists the outages that finished since the last pass, in the order
 	// of their ends.
 	Outages []model.Outage
@@ -95,7 +95,7 @@
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
-	c.Gone = maps.Clone(s.GoneProcesses)
+	c.DeclaredGone = maps.Clone(s.GoneProcesses)
 	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != after; i-- {
 		c.Outages = append(c.Outages, s.Outages[i])
 	}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -87,7 +87,7 @@
 	if len(c.Outages) > 0 {
 		m.outage = c.Outages[len(c.Outages)-1]
 	}
-	m.registry.DeclaredGone = c.Gone
+	m.registry.DeclaredGone = c.DeclaredGone
 	m.Waves.Follow(c)
 	m.Capacity.Follow(c.Delta)
 	for _, i := range c.Delta.Instances {
