--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -50,9 +50,9 @@
 // LiveInstance is an instance that at least one entry process hears.
 type LiveInstance struct {
 	Announcement model.Announcement
-	// Heard holds the entry processes that hear the instance; never empty.
-	Heard map[model.Process]bool
-	Since clock.Millis
+	// ReportedBy holds the entry processes that hear the instance; never empty.
+	ReportedBy map[model.Process]bool
+	Since      clock.Millis
 }
 
 // NewRegistry returns an empty registry.
@@ -104,7 +104,7 @@
 // present reports whether an entry process that is not quiet hears an
 // instance.
 func (g *Registry) present(id model.InstanceID) bool {
-	for p := range g.Live[id].Heard {
+	for p := range g.Live[id].ReportedBy {
 		if !g.SilentProcesses[p] {
 			return true
 		}
@@ -123,7 +123,7 @@
 		}
 		g.SilentProcesses[r.Process] = true
 		for id, l := range g.Live {
-			if l.Heard[r.Process] {
+			if l.ReportedBy[r.Process] {
 				g.MarkAbsentIfUnreported(id, now)
 			}
 		}
@@ -135,7 +135,7 @@
 func (g *Registry) unhush(p model.Process) {
 	delete(g.SilentProcesses, p)
 	for id, l := range g.Live {
-		if l.Heard[p] {
+		if l.ReportedBy[p] {
 			delete(g.Absent, id)
 			g.NewlyAnnounced[id] = true
 		}
@@ -145,12 +145,12 @@
 func (g *Registry) hear(p model.Process, a model.Announcement, now clock.Millis) {
 	l, ok := g.Live[a.Instance]
 	if !ok {
-		l = LiveInstance{Heard: map[model.Process]bool{}, Since: now}
+		l = LiveInstance{ReportedBy: map[model.Process]bool{}, Since: now}
 	}
 	if a.Incarnation >= l.Announcement.Incarnation {
 		l.Announcement = a
 	}
-	l.Heard[p] = true
+	l.ReportedBy[p] = true
 	g.Live[a.Instance] = l
 	g.NewlyAnnounced[a.Instance] = true
 	delete(g.Absent, a.Instance)
@@ -161,8 +161,8 @@
 	if !ok {
 		return
 	}
-	delete(l.Heard, p)
-	if len(l.Heard) == 0 {
+	delete(l.ReportedBy, p)
+	if len(l.ReportedBy) == 0 {
 		delete(g.Live, id)
 	}
 	g.MarkAbsentIfUnreported(id, now)
