--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// See tells the board what the entry processes say about an instance.
-func (b *WavePlanner[P, J]) See(id model.InstanceID, s maint.Observation) {
+// SetObservation tells the board what the entry processes say about an instance.
+func (b *WavePlanner[P, J]) SetObservation(id model.InstanceID, s maint.Observation) {
 	b.board.SetObservation(id, s)
 }
 
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -122,7 +122,7 @@
 		return
 	}
 	m.seen[id] = s
-	m.Waves.See(id, s)
+	m.Waves.SetObservation(id, s)
 }
 
 // seeZones counts the instances of zones that fell silent as lost, without
