--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -73,8 +73,10 @@
 	b.board.SetObservation(id, s)
 }
 
-// Feel tells the board what a customer's callers feel, in permille.
-func (b *WavePlanner[P, J]) Feel(c model.Customer, permille int) { b.board.SetPressure(c, permille) }
+// SetFailurePermille tells the board what a customer's callers feel, in permille.
+func (b *WavePlanner[P, J]) SetFailurePermille(c model.Customer, permille int) {
+	b.board.SetPressure(c, permille)
+}
 
 // Pass returns the steps that are due.
 func (b *WavePlanner[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -72,7 +72,7 @@
 	}
 	f.at = now
 	for name := range m.table.Contracts {
-		m.Waves.Feel(name, f.customers[name].permille())
+		m.Waves.SetFailurePermille(name, f.customers[name].permille())
 	}
 	for id, c := range f.instances {
 		s := m.seen[id]
