--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// Follow tells the board what changed in the replicated state.
-func (b *WavePlanner[P, J]) Follow(c StateChanges) {
+// Update tells the board what changed in the replicated state.
+func (b *WavePlanner[P, J]) Update(c StateChanges) {
 	for _, x := range c.Delta.Contracts {
 		b.board.SetContract(x)
 	}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -88,7 +88,7 @@
 		m.outage = c.Outages[len(c.Outages)-1]
 	}
 	m.registry.DeclaredGone = c.DeclaredGone
-	m.Waves.Follow(c)
+	m.Waves.Update(c)
 	m.Capacity.Follow(c.Delta)
 	for _, i := range c.Delta.Instances {
 		m.note(i, now)
