--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -45,8 +45,8 @@
 	c.SurgePlanner.Reset()
 }
 
-// Follow takes what changed in the table.
-func (c *CapacityPlanner[A, S]) Follow(d model.Delta) {
+// Update takes what changed in the table.
+func (c *CapacityPlanner[A, S]) Update(d model.Delta) {
 	for _, x := range d.Contracts {
 		c.contracts[x.Customer] = x
 	}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -89,7 +89,7 @@
 	}
 	m.registry.DeclaredGone = c.DeclaredGone
 	m.Waves.Update(c)
-	m.Capacity.Follow(c.Delta)
+	m.Capacity.Update(c.Delta)
 	for _, i := range c.Delta.Instances {
 		m.note(i, now)
 	}
