--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -115,5 +115,5 @@
 	return waits
 }
 
-// Retry makes the next call decide again, after steps that were not applied.
-func (c *CapacityPlanner[A, S]) Retry() { c.dirty = true }
+// Invalidate makes the next call decide again, after steps that were not applied.
+func (c *CapacityPlanner[A, S]) Invalidate() { c.dirty = true }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -50,7 +50,7 @@
 		m.waits = append(m.waits, gaps...)
 	}
 	if !m.propose(distinct(steps)) {
-		m.Capacity.Retry()
+		m.Capacity.Invalidate()
 	}
 	m.reboots(now)
 }
