--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -25,9 +25,9 @@
 	aloneWait = 5 * clock.Second
 )
 
-// Offer hands a delta to the duty that owns the table. An error means that it
+// ApplyFunc hands a delta to the duty that owns the table. An error means that it
 // was not taken: it would lower the version or does not follow on the table.
-type Offer func(d model.Delta) error
+type ApplyFunc func(d model.Delta) error
 
 // Source reads tables from other processes.
 type Source interface {
@@ -45,7 +45,7 @@
 	// Neighbours lists the other entry processes of the own zone.
 	Neighbours []model.Member
 	source     S
-	offer      Offer
+	offer      ApplyFunc
 	clock      clock.Clock
 	done       chan struct{}
 	version    atomic.Uint64
@@ -61,7 +61,7 @@
 }
 
 // NewPoller returns a poller for the process self.
-func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, c clock.Clock) *Poller[S] {
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer ApplyFunc, c clock.Clock) *Poller[S] {
 	p := &Poller[S]{Self: self, source: s, offer: offer, clock: c, done: make(chan struct{})}
 	p.ControlMembers = append(p.ControlMembers, control...)
 	sort.SliceStable(p.ControlMembers, func(i, j int) bool {
