--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -107,7 +107,7 @@
 			}})
 		}
 	}
-	d.orders = d.loans.Plan(now, d.needs, d.orders[:0])
+	d.orders = d.loans.DueMessages(now, d.needs, d.orders[:0])
 	for i, o := range d.orders {
 		if !d.cfg.LoanMessages.TryPut(o) {
 			d.unsent(now, o)
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -62,7 +62,7 @@
 func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []PoolDemand) Message {
 	t.Helper()
 	var due []Message
-	for _, o := range l.Plan(now, needs, nil) {
+	for _, o := range l.DueMessages(now, needs, nil) {
 		if o.Kind != MessageRecall {
 			due = append(due, o)
 		}
@@ -121,7 +121,7 @@
 	o := plan(t, l, 100, need)
 	assert.Assert(t, l.MayBorrow(120, "p"))
 	l.HandleResponse(120, o, 100, LoanResponse{Incarnation: 1, Lease: 1000}, true)
-	l.Plan(150, need, nil)
+	l.DueMessages(150, need, nil)
 	assert.Assert(t, !l.MayBorrow(160, "p"))
 	assert.Assert(t, l.MayBorrow(1150, "p"))
 }
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -7,10 +7,10 @@
 	"camphorridge/core/state/model"
 )
 
-// Plan appends the messages that are due: asks for the pools in need, each once,
+// DueMessages appends the messages that are due: asks for the pools in need, each once,
 // renewals, returns and recalls. At most one ask or return is under way to a
 // process.
-func (l *Ledger[P]) Plan(now clock.Millis, needs []PoolDemand, buf []Message) []Message {
+func (l *Ledger[P]) DueMessages(now clock.Millis, needs []PoolDemand, buf []Message) []Message {
 	if !l.Enabled() {
 		return buf
 	}
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -210,7 +210,7 @@
 	p.ledger.Expire(w.at(p))
 	w.sync(p)
 	need := lend.PoolDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: w.rng.IntN(10)}}
-	for _, o := range p.ledger.Plan(w.at(p), []lend.PoolDemand{need}, nil) {
+	for _, o := range p.ledger.DueMessages(w.at(p), []lend.PoolDemand{need}, nil) {
 		w.net = append(w.net, &message{from: p, to: w.find(o.To), number: p.number, order: o, asked: w.at(p)})
 	}
 }
