--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -48,15 +48,15 @@
 	Live func() []model.Announcement
 }
 
-// Reporting sends a report to the leader of the control group and returns the
+// ReportSender sends a report to the leader of the control group and returns the
 // leader's term.
-type Reporting interface {
+type ReportSender interface {
 	Report(ctx context.Context, r Report) (term uint64, err error)
 }
 
 // Reporter is the duty that reports to the leader: at once when the drained
 // version changed, as moves wait for it, and otherwise once in ReportInterval.
-type Reporter[R Reporting] struct {
+type Reporter[R ReportSender] struct {
 	self        model.Member
 	incarnation uint64
 	out         R
@@ -77,7 +77,7 @@
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
+func NewReporter[R ReportSender](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
 		self: self, incarnation: incarnation, out: out, status: status, felt: felt, demand: demand, clock: c,
 		done: make(chan struct{}), sent: map[model.InstanceID]model.Announcement{},
