--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -32,8 +32,8 @@
 	Recall(ctx context.Context, to model.Member, r lend.Recall) (clear bool, err error)
 }
 
-// Book takes in how the orders ended.
-type Book interface {
+// LoanLedger takes in how the orders ended.
+type LoanLedger interface {
 	Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool)
 	Returned(o lend.Message, ok bool)
 	Acknowledged(from model.Process)
@@ -47,7 +47,7 @@
 }
 
 // Sender is the duty. Its ring is filled by the owner of the ledger.
-type Sender[P Peers, B Book, L Links] struct {
+type Sender[P Peers, B LoanLedger, L Links] struct {
 	in    *ring.Ring[lend.Message]
 	peers P
 	book  B
@@ -64,7 +64,7 @@
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B Book, L Links](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
+func New[P Peers, B LoanLedger, L Links](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
 	d := &Sender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
