--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -41,13 +41,13 @@
 	Leave() []lend.Message
 }
 
-// Links closes the connections of a loan and reports whether none is left.
-type Links interface {
+// Connections closes the connections of a loan and reports whether none is left.
+type Connections interface {
 	Close(name string) bool
 }
 
 // Sender is the duty. Its ring is filled by the owner of the ledger.
-type Sender[P Peers, B LoanLedger, L Links] struct {
+type Sender[P Peers, B LoanLedger, L Connections] struct {
 	in    *ring.Ring[lend.Message]
 	peers P
 	book  B
@@ -64,7 +64,7 @@
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B LoanLedger, L Links](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
+func New[P Peers, B LoanLedger, L Connections](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
 	d := &Sender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
