--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -191,7 +191,7 @@
 	if l := at.loan; l != nil {
 		return Upstream{
 			Instance: l.Instance, Address: l.Address, Incarnation: l.Incarnation, HealthPath: l.HealthPath,
-			Connections: l.Connections, LoanName: l.Name(), WriteDeadline: deadline,
+			Connections: l.Connections, LoanName: l.ConnectionName(), WriteDeadline: deadline,
 		}
 	}
 	u := at.held.Upstream
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -45,9 +45,9 @@
 	next, forget clock.Millis
 }
 
-// Name names the connections of the loan. They are apart from those of the
+// ConnectionName names the connections of the loan. They are apart from those of the
 // own share and of other loans, so that they can be closed with the loan.
-func (h *HeldLoan) Name() string {
+func (h *HeldLoan) ConnectionName() string {
 	return string(h.Instance) + "#" + strconv.FormatUint(uint64(h.ID), 16)
 }
 
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -92,7 +92,7 @@
 	l.Release(700, h, false, false)
 	o = plan(t, l, 1700, nil)
 	assert.DeepEqual(t, o.Return.IDs, []ID{h.ID})
-	assert.DeepEqual(t, o.CloseConnections, []string{h.Name()})
+	assert.DeepEqual(t, o.CloseConnections, []string{h.ConnectionName()})
 	l.HandleReturnResult(o, true)
 	assert.Equal(t, l.Counts.HeldSlots, int64(0))
 }
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -93,7 +93,7 @@
 		h.next = now + retryAfter
 		buf[i].Return.IDs = append(buf[i].Return.IDs, h.ID)
 		if h.Slots > 0 {
-			buf[i].CloseConnections = append(buf[i].CloseConnections, h.Name())
+			buf[i].CloseConnections = append(buf[i].CloseConnections, h.ConnectionName())
 		}
 	}
 	return buf
