--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -30,8 +30,8 @@
 	Founders []raft.Member
 }
 
-// Asker asks a control process who it is.
-type Asker interface {
+// PeerClient asks a control process who it is.
+type PeerClient interface {
 	Hello(ctx context.Context, m model.Member) (Hello, error)
 	// Join asks the group that the members belong to for membership of self.
 	Join(ctx context.Context, members []model.Member, self raft.Member) error
@@ -98,7 +98,7 @@
 
 // AwaitPlan asks the configured members until the plan is clear or done is closed;
 // it returns PlanAskAgain in the latter case.
-func AwaitPlan[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
+func AwaitPlan[A PeerClient](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
 		plan, members := Decide(self.ID, configured, ask(a, self, configured))
 		if plan != PlanRetry {
@@ -112,7 +112,7 @@
 	}
 }
 
-func ask[A Asker](a A, self Hello, configured []model.Member) []Hello {
+func ask[A PeerClient](a A, self Hello, configured []model.Member) []Hello {
 	answers := []Hello{self}
 	for _, m := range configured {
 		if m.Name == self.Name {
--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -49,7 +49,7 @@
 // adds processes that lost their data folder under their new identity, and
 // removes members that are gone from a group that another one has joined. In a
 // process that is not a member it asks to become one.
-type MembershipManager[A Asker, M Membership] struct {
+type MembershipManager[A PeerClient, M Membership] struct {
 	self   Hello
 	member raft.Member
 	// configured holds the processes that the settings name.
@@ -72,7 +72,7 @@
 }
 
 // Config are what a keeper works with.
-type Config[A Asker, M Membership] struct {
+type Config[A PeerClient, M Membership] struct {
 	Self       Hello
 	Member     raft.Member
 	Configured []model.Member
@@ -85,7 +85,7 @@
 }
 
 // NewMembershipManager returns a keeper; Run must be called for it to do anything.
-func NewMembershipManager[A Asker, M Membership](p Config[A, M]) *MembershipManager[A, M] {
+func NewMembershipManager[A PeerClient, M Membership](p Config[A, M]) *MembershipManager[A, M] {
 	k := &MembershipManager[A, M]{
 		self: p.Self, member: p.Member, size: p.MinMembers, asker: p.Asker, group: p.Group, clock: p.Clock,
 		done: make(chan struct{}), joined: p.Joined, removed: p.Removed, silent: map[raft.MemberID]clock.Millis{},
