--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -128,10 +128,10 @@
 	return answers
 }
 
-// Missing returns a configured process that answers under an identity which is
+// UnlistedMember returns a configured process that answers under an identity which is
 // not in the member list and was in no group: its data folder was lost, or it
 // is new to the settings. ok is false when there is none.
-func Missing(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
+func UnlistedMember(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
 	listed := make(map[raft.MemberID]bool, len(members))
 	for _, m := range members {
 		listed[m.ID] = true
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -44,15 +44,15 @@
 // against leaving one out that lost its data folder.
 func TestMissing(t *testing.T) {
 	members := []raft.Member{{ID: 1, Name: "c1", Voter: true}, {ID: 2, Name: "c2", Voter: true}, {ID: 3, Name: "c3", Voter: true}}
-	_, ok := Missing(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
+	_, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
 	assert.Assert(t, !ok, "a silent member must stay")
-	got, ok := Missing(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c3", ID: 9}})
+	got, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c3", ID: 9}})
 	assert.Assert(t, ok)
 	assert.Equal(t, got.ID, raft.MemberID(9))
 	assert.Equal(t, got.Name, model.Process("c3"))
 	assert.Assert(t, !got.Voter)
-	_, ok = Missing(members, configured, []Hello{{Name: "c3", ID: 9, Initialised: true}})
+	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 9, Initialised: true}})
 	assert.Assert(t, !ok, "a process of another group must not be added")
-	_, ok = Missing(members, configured, []Hello{{Name: "c3", ID: 3}})
+	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 3}})
 	assert.Assert(t, !ok, "a listed member whose start was interrupted is no new one")
 }
--- a/core/coord/boot/keeper.go
+++ b/core/coord/boot/keeper.go
@@ -127,7 +127,7 @@
 	self := k.self
 	self.Initialised = true
 	configured := *k.configured.Load()
-	m, ok := Missing(v.Members, configured, ask(k.asker, self, configured))
+	m, ok := UnlistedMember(v.Members, configured, ask(k.asker, self, configured))
 	if ok && k.group.Join(ctx, m) == nil {
 		k.joined(m)
 	}
