--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -50,11 +50,11 @@
 	PlanJoin
 )
 
-// Decide returns the plan of the process self with, for PlanForm, the members
+// DecidePlan returns the plan of the process self with, for PlanForm, the members
 // of the new group and, for PlanJoin, the processes that answered. answers
 // holds one answer for each configured member that could be asked, this
 // process included.
-func Decide(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
+func DecidePlan(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
 	members := identified(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
@@ -100,7 +100,7 @@
 // it returns PlanAskAgain in the latter case.
 func AwaitPlan[A PeerClient](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
-		plan, members := Decide(self.ID, configured, ask(a, self, configured))
+		plan, members := DecidePlan(self.ID, configured, ask(a, self, configured))
 		if plan != PlanRetry {
 			return plan, members
 		}
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			plan, members := Decide(1, configured, tt.answers)
+			plan, members := DecidePlan(1, configured, tt.answers)
 			assert.Equal(t, plan, tt.want)
 			if tt.want == PlanForm {
 				assert.Equal(t, len(members), len(configured))
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/keeper_test.go
@@ -51,13 +51,13 @@
 func TestStrangerFormsNoGroup(t *testing.T) {
 	configured := []model.Member{{Name: "c1"}, {Name: "c2"}}
 	answers := []Hello{{Name: "c4", ID: 4}, {Name: "c1", ID: 1}, {Name: "c2", ID: 2}}
-	plan, _ := Decide(4, configured, answers)
+	plan, _ := DecidePlan(4, configured, answers)
 	assert.Equal(t, plan, PlanRetry)
-	plan, members := Decide(1, configured, answers)
+	plan, members := DecidePlan(1, configured, answers)
 	assert.Equal(t, plan, PlanForm)
 	assert.Equal(t, len(members), 2)
 	answers[1].Initialised = true
-	plan, _ = Decide(4, configured, answers)
+	plan, _ = DecidePlan(4, configured, answers)
 	assert.Equal(t, plan, PlanJoin)
 }
 
