--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -25,8 +25,8 @@
 type SurgePlanner[S plan.Chooser] struct {
 	chooser S
 	weights plan.Weights
-	// On is false to leave surges to the queues.
-	On        bool
+	// Enabled is false to leave surges to the queues.
+	Enabled   bool
 	processes map[model.Process]reported
 	high      map[model.Pool]clock.Millis
 	low       map[model.Pool]clock.Millis
@@ -37,7 +37,7 @@
 
 // NewSurgePlanner returns a decision about surges.
 func NewSurgePlanner[S plan.Chooser](c S, w plan.Weights, on bool) *SurgePlanner[S] {
-	s := &SurgePlanner[S]{chooser: c, weights: w, On: on}
+	s := &SurgePlanner[S]{chooser: c, weights: w, Enabled: on}
 	s.Reset()
 	return s
 }
@@ -64,7 +64,7 @@
 // Extras returns the instances that pools hold beyond their promise for now,
 // and reports whether they differ from the last call.
 func (s *SurgePlanner[S]) Extras(t model.Table, now clock.Millis) (extras []plan.Extra, changed bool) {
-	if !s.On || now-s.at < surgeInterval {
+	if !s.Enabled || now-s.at < surgeInterval {
 		return s.extras, false
 	}
 	s.at = now
