--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -30,8 +30,8 @@
 	Founders []raft.Member
 }
 
-// Asker asks a control process who it is.
-type Asker interface {
+// PeerClient asks a control process who it is.
+type PeerClient interface {
 	Hello(ctx context.Context, m model.Member) (Hello, error)
 	// Join asks the group that the members belong to for membership of self.
 	Join(ctx context.Context, members []model.Member, self raft.Member) error
@@ -42,19 +42,19 @@
 
 // The decisions.
 const (
-	// PlanAskAgain: not every configured member answered.
-	PlanAskAgain Plan = iota
+	// PlanRetry: not every configured member answered.
+	PlanRetry Plan = iota
 	// PlanForm: all members are new; each writes the same first member list.
 	PlanForm
 	// PlanJoin: a group exists; its leader must add this process.
 	PlanJoin
 )
 
-// Decide returns the plan of the process self with, for PlanForm, the members
+// DecidePlan returns the plan of the process self with, for PlanForm, the members
 // of the new group and, for PlanJoin, the processes that answered. answers
 // holds one answer for each configured member that could be asked, this
 // process included.
-func Decide(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
+func DecidePlan(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
 	members := identified(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
@@ -71,7 +71,7 @@
 	// the group that the others form.
 	founder := slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == self })
 	if len(members) < len(configured) || !founder {
-		return PlanAskAgain, nil
+		return PlanRetry, nil
 	}
 	for i := range members {
 		members[i].Voter = true
@@ -96,23 +96,23 @@
 	return members
 }
 
-// Wait asks the configured members until the plan is clear or done is closed;
+// AwaitPlan asks the configured members until the plan is clear or done is closed;
 // it returns PlanAskAgain in the latter case.
-func Wait[A Asker](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
+func AwaitPlan[A PeerClient](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
-		plan, members := Decide(self.ID, configured, ask(a, self, configured))
-		if plan != PlanAskAgain {
+		plan, members := DecidePlan(self.ID, configured, ask(a, self, configured))
+		if plan != PlanRetry {
 			return plan, members
 		}
 		select {
 		case <-c.After(askWait):
 		case <-done:
-			return PlanAskAgain, nil
+			return PlanRetry, nil
 		}
 	}
 }
 
-func ask[A Asker](a A, self Hello, configured []model.Member) []Hello {
+func ask[A PeerClient](a A, self Hello, configured []model.Member) []Hello {
 	answers := []Hello{self}
 	for _, m := range configured {
 		if m.Name == self.Name {
@@ -128,10 +128,10 @@
 	return answers
 }
 
-// Missing returns a configured process that answers under an identity which is
+// UnlistedMember returns a configured process that answers under an identity which is
 // not in the member list and was in no group: its data folder was lost, or it
 // is new to the settings. ok is false when there is none.
-func Missing(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
+func UnlistedMember(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
 	listed := make(map[raft.MemberID]bool, len(members))
 	for _, m := range members {
 		listed[m.ID] = true
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -24,14 +24,14 @@
 		{"all new", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanForm},
 		{"founder whose start was interrupted", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders}}, PlanForm},
 		{"founder that lost its data folder", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders[1:]}}, PlanJoin},
-		{"one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanAskAgain},
+		{"one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanRetry},
 		{"one was in a group", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: true}, {Name: "c3", ID: 3, Initialised: false}}, PlanJoin},
 		{"one in a group, one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c3", ID: 3, Initialised: true}}, PlanJoin},
-		{"one without identity", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanAskAgain},
+		{"one without identity", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanRetry},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			plan, members := Decide(1, configured, tt.answers)
+			plan, members := DecidePlan(1, configured, tt.answers)
 			assert.Equal(t, plan, tt.want)
 			if tt.want == PlanForm {
 				assert.Equal(t, len(members), len(configured))
@@ -44,15 +44,15 @@
 // against leaving one out that lost its data folder.
 func TestMissing(t *testing.T) {
 	members := []raft.Member{{ID: 1, Name: "c1", Voter: true}, {ID: 2, Name: "c2", Voter: true}, {ID: 3, Name: "c3", Voter: true}}
-	_, ok := Missing(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
+	_, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
 	assert.Assert(t, !ok, "a silent member must stay")
-	got, ok := Missing(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c3", ID: 9}})
+	got, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c3", ID: 9}})
 	assert.Assert(t, ok)
 	assert.Equal(t, got.ID, raft.MemberID(9))
 	assert.Equal(t, got.Name, model.Process("c3"))
 	assert.Assert(t, !got.Voter)
-	_, ok = Missing(members, configured, []Hello{{Name: "c3", ID: 9, Initialised: true}})
+	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 9, Initialised: true}})
 	assert.Assert(t, !ok, "a process of another group must not be added")
-	_, ok = Missing(members, configured, []Hello{{Name: "c3", ID: 3}})
+	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 3}})
 	assert.Assert(t, !ok, "a listed member whose start was interrupted is no new one")
 }
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/keeper_test.go
@@ -37,10 +37,10 @@
 	return nil
 }
 
-func newTestKeeper(size int) (*Keeper[fakeAsker, *fakeGroup], *fakeGroup, *clock.Fake) {
+func newTestKeeper(size int) (*MembershipManager[fakeAsker, *fakeGroup], *fakeGroup, *clock.Fake) {
 	g, c := &fakeGroup{}, clock.NewFake(1000)
-	k := NewKeeper(KeeperParts[fakeAsker, *fakeGroup]{
-		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, Size: size, Asker: fakeAsker{g}, Group: g,
+	k := NewMembershipManager(Config[fakeAsker, *fakeGroup]{
+		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: size, Asker: fakeAsker{g}, Group: g,
 		Clock: c.Clock(), Joined: func(raft.Member) {}, Removed: func(raft.MemberID) {},
 	})
 	return k, g, c
@@ -51,13 +51,13 @@
 func TestStrangerFormsNoGroup(t *testing.T) {
 	configured := []model.Member{{Name: "c1"}, {Name: "c2"}}
 	answers := []Hello{{Name: "c4", ID: 4}, {Name: "c1", ID: 1}, {Name: "c2", ID: 2}}
-	plan, _ := Decide(4, configured, answers)
-	assert.Equal(t, plan, PlanAskAgain)
-	plan, members := Decide(1, configured, answers)
+	plan, _ := DecidePlan(4, configured, answers)
+	assert.Equal(t, plan, PlanRetry)
+	plan, members := DecidePlan(1, configured, answers)
 	assert.Equal(t, plan, PlanForm)
 	assert.Equal(t, len(members), 2)
 	answers[1].Initialised = true
-	plan, _ = Decide(4, configured, answers)
+	plan, _ = DecidePlan(4, configured, answers)
 	assert.Equal(t, plan, PlanJoin)
 }
 
@@ -65,13 +65,13 @@
 // address that nobody adds, and against a removed member that never comes back.
 func TestStrangerAsksToJoin(t *testing.T) {
 	k, g, _ := newTestKeeper(3)
-	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, Led: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, HasLeader: true}
 	k.look()
 	assert.Equal(t, g.asked, 1)
-	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, Led: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, HasLeader: true}
 	k.look()
 	assert.Equal(t, g.asked, 1, "it is a member")
-	g.view.Led = false
+	g.view.HasLeader = false
 	for range aloneLooks {
 		k.look()
 	}
@@ -84,7 +84,7 @@
 func TestSilentMemberIsRetired(t *testing.T) {
 	for _, c := range []struct{ size, want int }{{3, 1}, {4, 0}} {
 		k, g, clk := newTestKeeper(c.size)
-		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, Leads: true, Silent: []raft.MemberID{3}}
+		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, IsLeader: true, Silent: []raft.MemberID{3}}
 		k.look()
 		clk.Advance(silentMillis - 1)
 		k.look()
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -14,7 +14,7 @@
 func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
 	a := d.asks.Get().(*ask)
 	a.request = r
-	if !d.in.Put(message{kind: messageAsk, ask: a}) {
+	if !d.in.TryPut(message{kind: messageAsk, ask: a}) {
 		d.asks.Put(a)
 		return Grant{}, &Refusal{Kind: RefusalBusy, Reason: "the dispatcher is busy", RetryAfter: clock.Second}
 	}
@@ -55,7 +55,7 @@
 }
 
 func stopped() *Refusal {
-	return &Refusal{Kind: RefusalReady, Reason: "the process is stopping", RetryAfter: clock.Second}
+	return &Refusal{Kind: RefusalNotReady, Reason: "the process is stopping", RetryAfter: clock.Second}
 }
 
 // Done gives a grant back. It waits for room in the ring, so that no end of a
@@ -64,26 +64,26 @@
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
 
-// Table puts a change of the table in force. The version never goes down; a
+// ApplyDelta puts a change of the table in force. The version never goes down; a
 // delta that does not follow on the table is a KindVersion error. An empty
 // delta from the version in force confirms the table after a pause.
-func (d *Dispatcher[P, Q, L]) Table(delta model.Delta) error {
+func (d *Dispatcher[P, Q, L]) ApplyDelta(delta model.Delta) error {
 	return d.call(&command{op: opTable, delta: delta}).err
 }
 
 // Announce takes in an announcement from an upstream itself.
 func (d *Dispatcher[P, Q, L]) Announce(a model.Announcement) error {
-	return d.Hear(member.Heard{Announcement: a, Direct: true})
+	return d.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a, Direct: true})
 }
 
-// Hear takes in an announcement from an upstream or from a neighbour.
-func (d *Dispatcher[P, Q, L]) Hear(h member.Heard) error {
+// ReceiveAnnouncement takes in an announcement from an upstream or from a neighbour.
+func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(h member.ReceivedAnnouncement) error {
 	return d.call(&command{op: opHear, heard: h}).err
 }
 
-// News returns what upstreams themselves announced after a sequence number,
+// AnnouncementsSince returns what upstreams themselves announced after a sequence number,
 // for the neighbours, and the number to ask from next.
-func (d *Dispatcher[P, Q, L]) News(since uint64) ([]member.Heard, uint64) {
+func (d *Dispatcher[P, Q, L]) AnnouncementsSince(since uint64) ([]member.ReceivedAnnouncement, uint64) {
 	c := d.call(&command{op: opNews, since: since})
 	return c.news, c.since
 }
@@ -100,12 +100,12 @@
 // customers and upstreams.
 func (d *Dispatcher[P, Q, L]) Snapshot() Status {
 	s := d.call(&command{op: opStatus}).status
-	s.Counts.RingFull = d.in.Refused()
+	s.Counts.RingRefused = d.in.Refused()
 	return s
 }
 
-// Configuration returns a copy of the table in force.
-func (d *Dispatcher[P, Q, L]) Configuration() model.Table {
+// Table returns a copy of the table in force.
+func (d *Dispatcher[P, Q, L]) Table() model.Table {
 	return d.call(&command{op: opConfig}).table
 }
 
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -31,9 +31,9 @@
 type command struct {
 	op     opKind
 	delta  model.Delta
-	heard  member.Heard
+	heard  member.ReceivedAnnouncement
 	since  uint64
-	news   []member.Heard
+	news   []member.ReceivedAnnouncement
 	status Status
 	table  model.Table
 	err    error
@@ -44,7 +44,7 @@
 	live     []model.Announcement
 	// loans is run by the duty, for the calls on loans.
 	loans  func(now clock.Millis)
-	felt   model.Felt
+	felt   model.LoadReport
 	demand []model.PoolDemand
 	// reply is closed once the command was carried out.
 	reply chan struct{}
@@ -57,7 +57,7 @@
 	case opHear:
 		c.err = d.hear(now, c.heard)
 	case opNews:
-		c.news, c.since = d.roster.News(now, c.since)
+		c.news, c.since = d.roster.UpdatesSince(now, c.since)
 	case opStatus:
 		c.status = d.status()
 	case opConfig:
@@ -97,12 +97,12 @@
 	for _, i := range delta.Instances {
 		d.countSlots(i.ID, i)
 		d.router.SetInstance(now, i, before.Version)
-		d.loans.EndInstance(i)
+		d.loans.EndLoansOf(i)
 	}
 	for _, id := range delta.RemovedInstances {
 		d.countSlots(id, model.Instance{})
 		d.router.RemoveInstance(now, id, before.Version)
-		d.loans.EndInstance(model.Instance{ID: id, Phase: model.PhaseRetired})
+		d.loans.EndLoansOf(model.Instance{ID: id, Phase: model.PhaseRetired})
 	}
 	for _, c := range delta.Contracts {
 		d.setContract(c)
@@ -221,7 +221,7 @@
 	return slices.Min(slices.Collect(maps.Keys(d.slots[p])))
 }
 
-func (d *Dispatcher[P, Q, L]) hear(now clock.Millis, h member.Heard) error {
+func (d *Dispatcher[P, Q, L]) hear(now clock.Millis, h member.ReceivedAnnouncement) error {
 	before, known := d.roster.Get(h.Announcement.Instance)
 	changed, err := d.roster.Accept(now, h)
 	if err != nil {
@@ -231,12 +231,12 @@
 		return nil
 	}
 	a := h.Announcement
-	d.router.SetMember(now, a, true)
+	d.router.SetAnnouncement(now, a, true)
 	e := model.Event{Kind: model.EventUpstreamUp, Instance: a.Instance, Pool: a.Pool, Detail: a.Address}
 	if a.State == model.AnnounceLeaving {
 		e.Kind = model.EventUpstreamLeft
 	}
-	if !known || before.Announcement != a || before.Lapsed {
+	if !known || before.Announcement != a || before.Expired {
 		d.event(e)
 	}
 	d.pumpAll(now)
@@ -246,16 +246,16 @@
 func (d *Dispatcher[P, Q, L]) status() Status {
 	s := Status{
 		Version: d.table.Version,
-		Drained: d.router.Drained(),
+		Drained: d.router.DrainedVersion(),
 		Ready:   d.ready,
 		Pauses:  d.roster.Pauses,
 		Counts:  d.counts,
 		Loans:   d.loans.Counts,
 	}
-	d.gate.Each(func(a *admit.Account[*ask]) {
+	d.gate.EachCustomer(func(a *admit.CustomerState[*ask]) {
 		s.Customers = append(s.Customers, CustomerStatus{
-			Customer: a.Customer, InFlight: a.Limit.InFlight, Queue: a.Limit.Queue,
-			Running: a.Running, Waiting: a.Waiting, Retries: a.Retries,
+			Customer: a.Name, InFlightLimit: a.Limit.MaxInFlight, QueueLimit: a.Limit.MaxQueued,
+			Running: a.Running, Waiting: a.Waiting, RetryTokens: a.RetryTokens,
 			RetryPercent: a.Limit.RetryPercent, Weight: a.Limit.Weight,
 		})
 	})
--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -21,7 +21,7 @@
 	of := func(p model.Pool) *model.PoolDemand {
 		x := byPool[p]
 		if x == nil {
-			x = &model.PoolDemand{Pool: p, Typical: d.gate.Typical(p)}
+			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.gate.TypicalRunTime(p)}
 			byPool[p] = x
 		}
 		return x
@@ -31,12 +31,12 @@
 			of(u.Pool).Running += u.Running
 		}
 	})
-	d.loans.Each(func(h *lend.Held) {
+	d.loans.EachHeld(func(h *lend.HeldLoan) {
 		if h.Running > 0 {
 			of(h.Pool).Running += h.Running
 		}
 	})
-	d.gate.Each(func(a *admit.Account[*ask]) {
+	d.gate.EachCustomer(func(a *admit.CustomerState[*ask]) {
 		if a.Waiting > 0 {
 			a.EachWaiting(func(p model.Pool, n int) { of(p).Waiting += n })
 		}
--- a/core/coord/entry/dispatch.go
+++ b/core/coord/entry/dispatch.go
@@ -12,13 +12,13 @@
 
 // admit grants, queues or refuses an ask.
 func (d *Dispatcher[P, Q, L]) admit(now clock.Millis, a *ask) {
-	d.counts.Asks++
+	d.counts.Requests++
 	r := &a.request
 	if !d.ready {
-		d.refuse(a, Refusal{Kind: RefusalReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
+		d.refuse(a, Refusal{Kind: RefusalNotReady, Reason: "the configuration is being read", RetryAfter: clock.Second})
 		return
 	}
-	line, why := d.gate.Line(r.Customer, r.Pool)
+	line, why := d.gate.Queue(r.Customer, r.Pool)
 	if why == admit.ReasonNone {
 		why = d.spend(line, r)
 	}
@@ -26,14 +26,14 @@
 		d.refuse(a, d.refusal(why, r.Pool))
 		return
 	}
-	d.felt.customer(r.Customer).Asks++
+	d.felt.customer(r.Customer).Requests++
 	if r.Deadline <= now {
 		d.refuse(a, d.refusal(admit.ReasonDeadline, r.Pool))
 		return
 	}
 	// While others wait that could run, the newcomer joins the queue, so that
 	// the choice stays fair.
-	if line.CanRun() && line.Len() == 0 && !d.gate.Waits(r.Pool) {
+	if line.CanRun() && line.Len() == 0 && !d.gate.HasRunnable(r.Pool) {
 		if h, ok := d.pick(now, r.Pool, r.Avoid); ok {
 			d.gate.Start(line)
 			d.grant(a, line, h)
@@ -44,19 +44,19 @@
 }
 
 // spend pays for a retry, or credits the budget for a first try.
-func (d *Dispatcher[P, Q, L]) spend(line *admit.Line[*ask], r *Request) admit.Reason {
+func (d *Dispatcher[P, Q, L]) spend(line *admit.Queue[*ask], r *Request) admit.Reason {
 	if !r.Retry {
-		line.Account.Credit()
+		line.Customer.AddRetryCredit()
 		return admit.ReasonNone
 	}
-	if !line.Account.Retry() {
+	if !line.Customer.TakeRetry() {
 		return admit.ReasonRetry
 	}
 	d.counts.Retries++
 	return admit.ReasonNone
 }
 
-func (d *Dispatcher[P, Q, L]) queue(now clock.Millis, a *ask, line *admit.Line[*ask]) {
+func (d *Dispatcher[P, Q, L]) queue(now clock.Millis, a *ask, line *admit.Queue[*ask]) {
 	r := &a.request
 	upstreams, slots := d.router.Routable(r.Pool)
 	switch {
@@ -69,10 +69,10 @@
 		return
 	}
 	room := max(d.room(now, r.Pool), 1)
-	w, why := d.gate.Join(now, r.Deadline, line, room, a)
+	w, why := d.gate.Enqueue(now, r.Deadline, line, room, a)
 	if why != admit.ReasonNone {
 		f := d.refusal(why, r.Pool)
-		f.RetryAfter = max(line.Wait(room), d.gate.Typical(r.Pool), 1)
+		f.RetryAfter = max(line.EstimateWait(room), d.gate.TypicalRunTime(r.Pool), 1)
 		d.refuse(a, f)
 		return
 	}
@@ -82,7 +82,7 @@
 
 // pump starts waiters of a pool while upstreams have room.
 func (d *Dispatcher[P, Q, L]) pump(now clock.Millis, p model.Pool) {
-	for d.gate.Waits(p) {
+	for d.gate.HasRunnable(p) {
 		h, ok := d.pick(now, p, "")
 		if !ok {
 			return
@@ -95,11 +95,11 @@
 			return
 		}
 		w.Ref.waiter = nil
-		d.grant(w.Ref, w.Line(), h)
+		d.grant(w.Ref, w.Queue(), h)
 	}
 }
 
-func (d *Dispatcher[P, Q, L]) grant(a *ask, line *admit.Line[*ask], at place) {
+func (d *Dispatcher[P, Q, L]) grant(a *ask, line *admit.Queue[*ask], at place) {
 	var n uint32
 	if last := len(d.free) - 1; last >= 0 {
 		n = d.free[last]
@@ -122,17 +122,17 @@
 func (d *Dispatcher[P, Q, L]) end(now clock.Millis, m message) {
 	at, number := uint32(m.ticket), uint32(m.ticket>>32)
 	if int(at) >= len(d.flights) || d.flights[at].number != number || d.flights[at].line == nil {
-		d.counts.Strays++
+		d.counts.UnknownTickets++
 		return
 	}
-	d.counts.Dones++
+	d.counts.Completed++
 	f := d.flights[at]
 	d.flights[at].line, d.flights[at].place, d.flights[at].id = nil, place{}, ""
 	d.free = append(d.free, at)
 	elapsed := m.elapsed
 	if m.outcome == OutcomeUnknown || m.outcome == OutcomeTimeout {
 		d.event(model.Event{
-			Kind: model.EventUnknown, Customer: f.line.Account.Customer, Pool: f.line.Pool,
+			Kind: model.EventUnknown, Customer: f.line.Customer.Name, Pool: f.line.Pool,
 			Instance: f.instance(), Request: f.id,
 		})
 	}
@@ -140,13 +140,13 @@
 	case OutcomeCancelled, OutcomeConnect, OutcomeBusy:
 		elapsed = -1
 	case OutcomeTimeout:
-		if typical := d.gate.Typical(f.line.Pool); elapsed < impatient*typical {
+		if typical := d.gate.TypicalRunTime(f.line.Pool); elapsed < impatient*typical {
 			// The deadline was short; that is not the upstream's failure, and
 			// the run time remains unknown.
 			m.outcome, elapsed = OutcomeCancelled, -1
 		}
 	}
-	d.felt.ran(f.line.Account.Customer, f.instance(), m.outcome)
+	d.felt.ran(f.line.Customer.Name, f.instance(), m.outcome)
 	full := !f.line.CanRun()
 	d.gate.End(f.line, elapsed)
 	if d.leave(now, f.place, m.outcome) {
@@ -154,7 +154,7 @@
 		d.event(model.Event{Kind: model.EventEjected, Instance: f.instance(), Pool: f.line.Pool, Limit: "failures"})
 	}
 	d.pump(now, f.line.Pool)
-	if full && f.line.Account.Waiting > 0 {
+	if full && f.line.Customer.Waiting > 0 {
 		// The customer's share held up its waiters in other pools as well.
 		d.pumpAll(now)
 	}
@@ -166,7 +166,7 @@
 	if a.waiter == nil {
 		return
 	}
-	a.waiter.Line().Leave(a.waiter)
+	a.waiter.Queue().Remove(a.waiter)
 	d.counts.Cancelled++
 	d.refuse(a, Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"})
 }
@@ -183,7 +183,7 @@
 func (d *Dispatcher[P, Q, L]) refuse(a *ask, r Refusal) {
 	d.counts.Refused++
 	d.felt.refused(a.request.Customer, a.request.Pool, r.Kind)
-	if r.Kind != RefusalUnknown && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
+	if r.Kind != RefusalNoContract && r.Kind != RefusalCancelled && d.cfg.Events != nil && d.ready {
 		d.refusals[refused{a.request.Customer, a.request.Pool, r.Reason}]++
 	}
 	a.waiter = nil
@@ -199,7 +199,7 @@
 	r := Refusal{Reason: why.String(), RetryAfter: clock.Second}
 	switch why {
 	case admit.ReasonContract, admit.ReasonPool:
-		r.Kind, r.RetryAfter = RefusalUnknown, 0
+		r.Kind, r.RetryAfter = RefusalNoContract, 0
 	case admit.ReasonDeadline:
 		r.Kind = RefusalDeadline
 	case admit.ReasonShare:
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// DefaultRing holds one message of each connection of a busy process.
-	DefaultRing = 4096
+	// DefaultRingSize holds one message of each connection of a busy process.
+	DefaultRingSize = 4096
 	// batch is the number of messages handled under one reading of the clock.
 	batch = 64
 	// tickEvery bounds how late an expired waiter is answered.
@@ -58,13 +58,13 @@
 
 // place is a reserved slot: of the own share, or of a loan when that is set.
 type place struct {
-	held route.Held
-	loan *lend.Held
+	held route.Reservation
+	loan *lend.HeldLoan
 }
 
 // flight is a granted request.
 type flight struct {
-	line *admit.Line[*ask]
+	line *admit.Queue[*ask]
 	place
 	id string
 	// number makes the tickets of one place different over time.
@@ -82,7 +82,7 @@
 	// drained and serving are copies of the state for other goroutines.
 	drained atomic.Uint64
 	serving atomic.Bool
-	gate    *admit.Gate[P, *ask]
+	gate    *admit.Controller[P, *ask]
 	router  *route.Router[Q]
 	roster  *member.Roster
 	loans   *lend.Ledger[L]
@@ -90,9 +90,9 @@
 	borrowing map[model.Pool]bool
 	// rolled is the time of the last Roll of the router.
 	rolled clock.Millis
-	needs  []lend.Need
-	orders []lend.Order
-	stocks []lend.Stock
+	needs  []lend.PoolDemand
+	orders []lend.Message
+	stocks []lend.UpstreamSlots
 	table  model.Table
 	// ready is false before the first table, and after a pause of this process
 	// until the table was read again.
@@ -120,8 +120,8 @@
 
 // New returns a dispatcher that is not running yet.
 func New[P admit.Picker, Q route.Policy, L lend.Policy](cfg Settings, clk clock.Clock, picker P, policy Q, lending L) *Dispatcher[P, Q, L] {
-	if cfg.Ring <= 0 {
-		cfg.Ring = DefaultRing
+	if cfg.RingSize <= 0 {
+		cfg.RingSize = DefaultRingSize
 	}
 	var all, near []model.Process
 	for _, m := range cfg.Entries {
@@ -133,7 +133,7 @@
 	d := &Dispatcher[P, Q, L]{
 		cfg:       cfg,
 		clk:       clk,
-		in:        ring.New[message](cfg.Ring),
+		in:        ring.New[message](cfg.RingSize),
 		done:      make(chan struct{}),
 		gate:      admit.New[P, *ask](picker),
 		felt:      newTally(),
@@ -153,9 +153,9 @@
 	zoneRank, zoneCount := admit.Rank(near, cfg.Self)
 	d.router = route.New(route.Settings{
 		Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount,
-		Lending: d.loans.On(), ReservePercent: cfg.Lending.ReservePercent,
+		Lending: d.loans.Enabled(), ReservePercent: cfg.Lending.ReservePercent,
 	}, policy)
-	d.router.Quarantine = d.loans.Quarantined(clk.Now())
+	d.router.LoansUncertain = d.loans.Quarantined(clk.Now())
 	d.asks.New = func() any { return &ask{reply: make(chan struct{}, 1)} }
 	return d
 }
@@ -187,7 +187,7 @@
 
 // publish copies what other goroutines read without a message.
 func (d *Dispatcher[P, Q, L]) publish() {
-	d.drained.Store(uint64(d.router.Drained()))
+	d.drained.Store(uint64(d.router.DrainedVersion()))
 	d.serving.Store(d.ready)
 }
 
@@ -197,7 +197,7 @@
 // observe reads the clock and notices a pause of this process.
 func (d *Dispatcher[P, Q, L]) observe() clock.Millis {
 	now := d.clk.Now()
-	if d.roster.Observe(now) {
+	if d.roster.Tick(now) {
 		d.ready = false
 	}
 	return now
@@ -218,9 +218,9 @@
 
 // tick handles what only the passing of time changes.
 func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
-	d.lapsed = d.roster.Lapse(now, d.lapsed[:0])
+	d.lapsed = d.roster.Expire(now, d.lapsed[:0])
 	for _, r := range d.lapsed {
-		d.router.SetMember(now, r.Announcement, false)
+		d.router.SetAnnouncement(now, r.Announcement, false)
 		d.event(model.Event{Kind: model.EventUpstreamGone, Instance: r.Announcement.Instance, Pool: r.Announcement.Pool, Limit: "lease"})
 	}
 	d.back = d.router.Restored(now, d.back[:0])
@@ -237,7 +237,7 @@
 // pumpAll starts waiters wherever there is room, and refuses those of pools
 // that lost their last upstream.
 func (d *Dispatcher[P, Q, L]) pumpAll(now clock.Millis) {
-	d.pools = d.gate.Waiting(d.pools[:0])
+	d.pools = d.gate.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
 		if _, slots := d.router.Routable(p); slots == 0 && !d.mayBorrow(now, p) {
 			d.late = d.gate.Clear(p, d.late[:0])
@@ -276,6 +276,6 @@
 func (d *Dispatcher[P, Q, L]) event(e model.Event) {
 	if d.cfg.Events != nil {
 		e.Process = d.cfg.Self
-		d.cfg.Events.Put(e)
+		d.cfg.Events.TryPut(e)
 	}
 }
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -17,7 +17,7 @@
 	"gotest.tools/v3/poll"
 )
 
-type dispatcher = Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
+type dispatcher = Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // start runs a dispatcher with a pool svc of two upstreams with the given
 // slots.
@@ -35,11 +35,11 @@
 
 func startWith(t testing.TB, cfg Settings, clk clock.Clock, slots int, contracts ...model.Contract) *dispatcher {
 	t.Helper()
-	d := New(cfg, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	d := New(cfg, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	ended := make(chan struct{})
 	go func() { _ = d.Run(); close(ended) }()
 	t.Cleanup(func() { d.Stop(); <-ended })
-	assert.NilError(t, d.Table(model.Delta{To: 5, Full: true, Contracts: contracts, Instances: []model.Instance{
+	assert.NilError(t, d.ApplyDelta(model.Delta{To: 5, Full: true, Contracts: contracts, Instances: []model.Instance{
 		instance("ia", slots), instance("ib", slots),
 	}}))
 	assert.NilError(t, d.Announce(announcement("ia", slots)))
@@ -92,7 +92,7 @@
 	assert.Equal(t, third.Upstream, first.Upstream)
 	// A second Done for a ticket changes nothing.
 	d.Done(first.Ticket, OutcomeOK, 1)
-	until(t, "stray", func(s Status) bool { return s.Counts.Strays == 1 && s.Customers[0].Running == 2 }, d)
+	until(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
 }
 
 // Guards against slots that are lost when callers give up at any moment.
@@ -111,13 +111,13 @@
 		})
 	}
 	wg.Wait()
-	until(t, "all ended", func(s Status) bool { return s.Counts.Dones == s.Counts.Grants }, d)
+	until(t, "all ended", func(s Status) bool { return s.Counts.Completed == s.Counts.Grants }, d)
 	s := d.Snapshot()
 	assert.Equal(t, s.Customers[0].Running+s.Customers[0].Waiting, 0)
 	for _, u := range s.Upstreams {
 		assert.Equal(t, u.Running, 0)
 	}
-	assert.Equal(t, s.Counts.Asks, s.Counts.Grants+s.Counts.Refused)
+	assert.Equal(t, s.Counts.Requests, s.Counts.Grants+s.Counts.Refused)
 }
 
 // Guards against refusals that are late, or that name the wrong reason.
@@ -130,8 +130,8 @@
 	}{
 		{Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}, RefusalLimit},
 		{Request{Customer: "acme", Pool: "svc", Deadline: 1}, RefusalDeadline},
-		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalUnknown},
-		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalUnknown},
+		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalNoContract},
+		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalNoContract},
 	} {
 		_, f := d.Ask(t.Context(), c.r)
 		assert.Equal(t, f.Kind, c.kind, f.Reason)
@@ -152,7 +152,7 @@
 	assert.Equal(t, f.Kind, RefusalCapacity, f.Reason)
 	d.Stop()
 	_, f = try(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalReady)
+	assert.Equal(t, f.Kind, RefusalNotReady)
 }
 
 // Guards against waiters that hang when their pool loses its last upstream.
@@ -176,9 +176,9 @@
 
 // Guards against a full ring that blocks callers or is not told.
 func TestFullRingRefuses(t *testing.T) {
-	d := New(Settings{Self: "e1", Zone: "z1", Ring: 2}, clock.Real(), admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	d := New(Settings{Self: "e1", Zone: "z1", RingSize: 2}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
-		assert.Assert(t, d.in.Put(message{kind: messageDone}))
+		assert.Assert(t, d.in.TryPut(message{kind: messageDone}))
 	}
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalBusy)
@@ -193,18 +193,18 @@
 	g := must(t, d)
 	i := instance(g.Upstream.Instance, 1)
 	i.Phase, i.Version = model.PhaseReleasing, 8
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
 	assert.Equal(t, d.Drained(), model.Version(7))
 	var e *Error
-	assert.Assert(t, errors.As(d.Table(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
-	assert.Assert(t, errors.As(d.Table(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
-	assert.Equal(t, d.Configuration().Version, model.Version(8))
+	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
+	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
+	assert.Equal(t, d.Table().Version, model.Version(8))
 	other := must(t, d)
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	until(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
 	// A full table that no longer names the instance in use releases it.
-	assert.NilError(t, d.Table(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
 	assert.Equal(t, d.Drained(), model.Version(8))
 	d.Done(other.Ticket, OutcomeOK, 1)
 	until(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
@@ -218,9 +218,9 @@
 	must(t, d)
 	fake.Advance(10 * clock.Minute)
 	_, f := try(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalReady)
+	assert.Equal(t, f.Kind, RefusalNotReady)
 	until(t, "not ready", func(Status) bool { return !d.Ready() }, d)
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 5}))
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 5}))
 	assert.Assert(t, d.Ready())
 	must(t, d)
 	// Without announcements the grace ends after one lease.
@@ -239,9 +239,9 @@
 	c := contract("acme", 0, 1)
 	c.Pools[0].Instances = 3
 	d := start(t, 4, c)
-	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12)
-	assert.NilError(t, d.Table(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 12, "the smallest instance counts")
-	assert.NilError(t, d.Table(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlight, 18)
+	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12)
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
+	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12, "the smallest instance counts")
+	assert.NilError(t, d.ApplyDelta(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
+	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 18)
 }
--- a/core/coord/entry/felt.go
+++ b/core/coord/entry/felt.go
@@ -11,7 +11,7 @@
 // tally counts what callers felt and what instances ran since it was last
 // taken.
 type tally struct {
-	customers map[model.Customer]*model.CustomerFelt
+	customers map[model.Customer]*model.CustomerLoad
 	instances map[model.InstanceID]*model.InstanceTally
 	// turned counts the refusals by pool since the last report of demand.
 	turned map[model.Pool]int
@@ -19,16 +19,16 @@
 
 func newTally() tally {
 	return tally{
-		customers: map[model.Customer]*model.CustomerFelt{},
+		customers: map[model.Customer]*model.CustomerLoad{},
 		instances: map[model.InstanceID]*model.InstanceTally{},
 		turned:    map[model.Pool]int{},
 	}
 }
 
-func (t *tally) customer(c model.Customer) *model.CustomerFelt {
+func (t *tally) customer(c model.Customer) *model.CustomerLoad {
 	f := t.customers[c]
 	if f == nil {
-		f = &model.CustomerFelt{Customer: c}
+		f = &model.CustomerLoad{Customer: c}
 		t.customers[c] = f
 	}
 	return f
@@ -38,7 +38,7 @@
 // for.
 func (t *tally) refused(c model.Customer, p model.Pool, k RefusalKind) {
 	if k == RefusalCapacity || k == RefusalDeadline {
-		t.customer(c).Suffered++
+		t.customer(c).Impaired++
 		t.turned[p]++
 	}
 }
@@ -53,7 +53,7 @@
 	i.Calls++
 	switch o {
 	case route.OutcomeUnknown, route.OutcomeTimeout:
-		t.customer(c).Suffered++
+		t.customer(c).Impaired++
 		i.Failures++
 	case route.OutcomeError, route.OutcomeConnect:
 		i.Failures++
@@ -61,20 +61,20 @@
 }
 
 // take returns the counts in order of their names and starts anew.
-func (t *tally) take() model.Felt {
-	var f model.Felt
+func (t *tally) take() model.LoadReport {
+	var f model.LoadReport
 	for _, c := range t.customers {
 		f.Customers = append(f.Customers, *c)
 	}
 	for _, i := range t.instances {
 		f.Instances = append(f.Instances, *i)
 	}
-	slices.SortFunc(f.Customers, func(a, b model.CustomerFelt) int { return cmp.Compare(a.Customer, b.Customer) })
+	slices.SortFunc(f.Customers, func(a, b model.CustomerLoad) int { return cmp.Compare(a.Customer, b.Customer) })
 	slices.SortFunc(f.Instances, func(a, b model.InstanceTally) int { return cmp.Compare(a.Instance, b.Instance) })
 	clear(t.customers)
 	clear(t.instances)
 	return f
 }
 
-// Felt returns what callers felt since the last call.
-func (d *Dispatcher[P, Q, L]) Felt() model.Felt { return d.call(&command{op: opFelt}).felt }
+// LoadReport returns what callers felt since the last call.
+func (d *Dispatcher[P, Q, L]) LoadReport() model.LoadReport { return d.call(&command{op: opFelt}).felt }
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -47,16 +47,16 @@
 	// Entries are the configured entry processes of all zones, this one
 	// included.
 	Entries []model.Member
-	// Ring is the number of messages that may wait; 0 means DefaultRing.
-	Ring int
+	// RingSize is the number of messages that may wait; 0 means DefaultRing.
+	RingSize int
 	// Lease is the lease of an announcement; 0 means member.DefaultLease.
 	Lease clock.Millis
 	// Events receives the events of the time line; nil drops them.
 	Events *ring.Ring[model.Event]
 	// Lending says how slots are lent; its zero value turns that off. Orders
 	// receives the messages to other entry processes and is needed otherwise.
-	Lending lend.Settings
-	Orders  *ring.Ring[lend.Order]
+	Lending      lend.Settings
+	LoanMessages *ring.Ring[lend.Message]
 }
 
 // Request asks for the right to send one request to an upstream.
@@ -84,12 +84,12 @@
 	HealthPath  string
 	// Connections is this process's share; at least 1.
 	Connections int
-	// Loan names the loan that the slot belongs to; empty for the own share.
+	// LoanName names the loan that the slot belongs to; empty for the own share.
 	// The connections of each loan are apart from all others.
-	Loan string
-	// Until is the time from which no byte of the request may be written; 0 for
+	LoanName string
+	// WriteDeadline is the time from which no byte of the request may be written; 0 for
 	// a slot of the own share.
-	Until clock.Millis
+	WriteDeadline clock.Millis
 }
 
 // Grant is the right to send one request. Its holder must call Done once.
@@ -103,16 +103,16 @@
 
 // The kinds of refusal.
 const (
-	// RefusalUnknown: no contract of the customer covers the service.
-	RefusalUnknown RefusalKind = iota
+	// RefusalNoContract: no contract of the customer covers the service.
+	RefusalNoContract RefusalKind = iota
 	// RefusalLimit: a limit of the contract is reached.
 	RefusalLimit
 	// RefusalDeadline: the request cannot end in time.
 	RefusalDeadline
 	// RefusalCapacity: no upstream of the pool is available here.
 	RefusalCapacity
-	// RefusalReady: this process has no valid table.
-	RefusalReady
+	// RefusalNotReady: this process has no valid table.
+	RefusalNotReady
 	// RefusalBusy: the ring of the dispatcher is full.
 	RefusalBusy
 	// RefusalCancelled: the caller gave up.
@@ -143,20 +143,20 @@
 
 // Counts are the counters of a dispatcher; they only grow.
 type Counts struct {
-	Asks, Grants, Queued, Refused, Cancelled, Expired, Dones, Strays, Retries int64
-	// RingFull is the number of asks that the full ring turned away.
-	RingFull int64
+	Requests, Grants, Queued, Refused, Cancelled, Expired, Completed, UnknownTickets, Retries int64
+	// RingRefused is the number of asks that the full ring turned away.
+	RingRefused int64
 	// Ejections is the number of ejections of upstreams.
 	Ejections int64
 }
 
 // CustomerStatus is the state of one customer in this process.
 type CustomerStatus struct {
-	Customer             model.Customer
-	InFlight, Queue      int
-	Running, Waiting     int
-	Retries              float64
-	RetryPercent, Weight int
+	Customer                  model.Customer
+	InFlightLimit, QueueLimit int
+	Running, Waiting          int
+	RetryTokens               float64
+	RetryPercent, Weight      int
 }
 
 // Status is a copy of the dispatcher's state.
--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -25,9 +25,9 @@
 	aloneWait = 5 * clock.Second
 )
 
-// Offer hands a delta to the duty that owns the table. An error means that it
+// ApplyFunc hands a delta to the duty that owns the table. An error means that it
 // was not taken: it would lower the version or does not follow on the table.
-type Offer func(d model.Delta) error
+type ApplyFunc func(d model.Delta) error
 
 // Source reads tables from other processes.
 type Source interface {
@@ -40,12 +40,12 @@
 // Poller is the duty that fetches the table.
 type Poller[S Source] struct {
 	Self model.Member
-	// Control lists the control members, those of the own zone first.
-	Control []model.Member
+	// ControlMembers lists the control members, those of the own zone first.
+	ControlMembers []model.Member
 	// Neighbours lists the other entry processes of the own zone.
 	Neighbours []model.Member
 	source     S
-	offer      Offer
+	offer      ApplyFunc
 	clock      clock.Clock
 	done       chan struct{}
 	version    atomic.Uint64
@@ -61,11 +61,11 @@
 }
 
 // NewPoller returns a poller for the process self.
-func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer Offer, c clock.Clock) *Poller[S] {
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer ApplyFunc, c clock.Clock) *Poller[S] {
 	p := &Poller[S]{Self: self, source: s, offer: offer, clock: c, done: make(chan struct{})}
-	p.Control = append(p.Control, control...)
-	sort.SliceStable(p.Control, func(i, j int) bool {
-		a, b := p.Control[i].Zone == self.Zone, p.Control[j].Zone == self.Zone
+	p.ControlMembers = append(p.ControlMembers, control...)
+	sort.SliceStable(p.ControlMembers, func(i, j int) bool {
+		a, b := p.ControlMembers[i].Zone == self.Zone, p.ControlMembers[j].Zone == self.Zone
 		return a && !b
 	})
 	for _, m := range entries {
@@ -79,11 +79,11 @@
 // Version is the version of the table in force.
 func (p *Poller[S]) Version() model.Version { return model.Version(p.version.Load()) }
 
-// Since is the time from which the table has been in force.
-func (p *Poller[S]) Since() clock.Millis { return clock.Millis(p.inForce.Load()) }
+// InForceSince is the time from which the table has been in force.
+func (p *Poller[S]) InForceSince() clock.Millis { return clock.Millis(p.inForce.Load()) }
 
-// Contact is the time of the last answer of a control member; 0 for none.
-func (p *Poller[S]) Contact() clock.Millis { return clock.Millis(p.contact.Load()) }
+// LastContact is the time of the last answer of a control member; 0 for none.
+func (p *Poller[S]) LastContact() clock.Millis { return clock.Millis(p.contact.Load()) }
 
 // Run polls until Stop.
 func (p *Poller[S]) Run() error {
@@ -135,7 +135,7 @@
 // pollControl asks the control members in turn and reports whether one
 // answered. Until one has, it asks them not to hold the answer back.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
-	for _, m := range p.Control {
+	for _, m := range p.ControlMembers {
 		wait := WatchWait
 		if !p.answered {
 			wait = 0
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -16,9 +16,9 @@
 	// an entry process for silent after three of them.
 	ReportInterval = clock.Second
 	reportTimeout  = clock.Second
-	// FeltInterval separates two reports of what callers felt. At 255 upstreams
+	// LoadInterval separates two reports of what callers felt. At 255 upstreams
 	// in a zone one such report has about 8 KB.
-	FeltInterval = 5 * clock.Second
+	LoadInterval = 5 * clock.Second
 )
 
 // Report is what an entry process tells the leader.
@@ -35,8 +35,8 @@
 	Gone    []model.InstanceID
 	// Demand is what callers ask of each pool at the time of the report.
 	Demand []model.PoolDemand
-	// Felt is empty in most reports; see FeltInterval.
-	Felt model.Felt
+	// Load is empty in most reports; see FeltInterval.
+	Load model.LoadReport
 }
 
 // Status is what the reporter reads from the other duties of the process.
@@ -48,20 +48,20 @@
 	Live func() []model.Announcement
 }
 
-// Reporting sends a report to the leader of the control group and returns the
+// ReportSender sends a report to the leader of the control group and returns the
 // leader's term.
-type Reporting interface {
+type ReportSender interface {
 	Report(ctx context.Context, r Report) (term uint64, err error)
 }
 
 // Reporter is the duty that reports to the leader: at once when the drained
 // version changed, as moves wait for it, and otherwise once in ReportInterval.
-type Reporter[R Reporting] struct {
+type Reporter[R ReportSender] struct {
 	self        model.Member
 	incarnation uint64
 	out         R
 	status      func() Status
-	felt        func() model.Felt
+	felt        func() model.LoadReport
 	demand      func() []model.PoolDemand
 	feltAt      clock.Millis
 	clock       clock.Clock
@@ -77,7 +77,7 @@
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R Reporting](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.Felt, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
+func NewReporter[R ReportSender](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
 		self: self, incarnation: incarnation, out: out, status: status, felt: felt, demand: demand, clock: c,
 		done: make(chan struct{}), sent: map[model.InstanceID]model.Announcement{},
@@ -110,9 +110,9 @@
 	defer cancel()
 	r.lastTime = now
 	rep.Demand = r.demand()
-	if now-r.feltAt >= FeltInterval {
+	if now-r.feltAt >= LoadInterval {
 		r.feltAt = now
-		rep.Felt = r.felt()
+		rep.Load = r.felt()
 	}
 	full := !r.complete
 	term, err := r.out.Report(ctx, rep)
--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -74,7 +74,7 @@
 	in.done = ctx.Done()
 	// A quarter of the ring is for messages of peers: were they dropped in
 	// favour of proposals, the load would cost the leader its term.
-	if g.ring.Len() >= g.cfg.Ring-g.cfg.Ring/4 || !g.ring.Put(in) {
+	if g.ring.Len() >= g.cfg.RingCapacity-g.cfg.RingCapacity/4 || !g.ring.TryPut(in) {
 		return answer{}, failf(in.op, KindBusy, "%d inputs wait", g.ring.Len())
 	}
 	select {
@@ -96,13 +96,13 @@
 // The leader sets the change's time. Errors of kind outcome-unknown leave open
 // whether the change is applied; after all others it never is.
 func (g *Group[S, C]) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	a, err := g.call(ctx, input{kind: inputPropose, op: "propose", change: c}, KindUnknown)
+	a, err := g.call(ctx, input{kind: inputPropose, op: "propose", change: c}, KindOutcomeUnknown)
 	return a.result, err
 }
 
-// Read returns nil when a query that follows sees every change that was
+// ReadBarrier returns nil when a query that follows sees every change that was
 // acknowledged before the call, by any member.
-func (g *Group[S, C]) Read(ctx context.Context) error {
+func (g *Group[S, C]) ReadBarrier(ctx context.Context) error {
 	_, err := g.call(ctx, input{kind: inputRead, op: "read"}, KindCanceled)
 	return err
 }
@@ -139,7 +139,7 @@
 // Step hands messages from peers to the duty. It does not wait: when the ring
 // is full the messages are dropped, and their senders repeat them.
 func (g *Group[S, C]) Step(messages []raft.Message) {
-	g.ring.Put(input{kind: inputMessages, op: "step", messages: messages})
+	g.ring.TryPut(input{kind: inputMessages, op: "step", messages: messages})
 }
 
 // Status returns a report of this member.
@@ -153,12 +153,12 @@
 // listed member of the same name whose identity no longer answers is removed
 // first. The leader promotes the new member when it has caught up.
 func (g *Group[S, C]) Join(ctx context.Context, m raft.Member) ([]raft.Member, error) {
-	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindUnknown)
+	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
 }
 
 // Remove asks the leader to remove a member and returns nil once it is done.
 func (g *Group[S, C]) Remove(ctx context.Context, id raft.MemberID) error {
-	_, err := g.call(ctx, input{kind: inputRemove, op: "remove", member: raft.Member{ID: id}}, KindUnknown)
+	_, err := g.call(ctx, input{kind: inputRemove, op: "remove", member: raft.Member{ID: id}}, KindOutcomeUnknown)
 	return err
 }
--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -23,7 +23,7 @@
 type memory struct {
 	mu      sync.Mutex
 	broken  atomic.Bool
-	stored  raft.Stored
+	stored  raft.StoredState
 	data    []byte
 	largest int
 }
@@ -147,15 +147,15 @@
 	}
 	first := []raft.Member{{ID: 1, Name: "one", Voter: true}, {ID: 2, Name: "two", Voter: true}, {ID: 3, Name: "three", Voter: true}}[:n]
 	for _, m := range first {
-		c.start(m, &memory{stored: raft.Stored{Self: m, Snapshot: raft.SnapshotMeta{Members: first}}})
+		c.start(m, &memory{stored: raft.StoredState{Self: m, Snapshot: raft.SnapshotMeta{Members: first}}})
 	}
 	return c
 }
 
 func (c *cluster) start(m raft.Member, disk *memory) *Group[*memory, plain] {
 	cfg := Config{
-		Raft: raft.Config{ElectionTimeout: 200, HeartbeatInterval: 40, MaxAppendBytes: 4096, ChunkBytes: 200, Seed: 7},
-		Tick: 10, Ring: 256, MaxWaiting: 200, SnapshotEntries: 20, RetryDelay: 50, Send: c.links.send,
+		Raft:         raft.Config{ElectionTimeout: 200, HeartbeatInterval: 40, MaxAppendBytes: 4096, ChunkBytes: 200, Seed: 7},
+		TickInterval: 10, RingCapacity: 256, MaxPending: 200, SnapshotEntries: 20, RetryDelay: 50, Send: c.links.send,
 	}
 	g, err := New(cfg, disk.stored, disk, plain{}, c.fake.Clock())
 	assert.NilError(c.t, err)
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -36,14 +36,14 @@
 // Config sets up the duty. Values below 1 take the smallest sensible value.
 type Config struct {
 	Raft raft.Config
-	// Tick is the time between two looks at the clock; at most half of the
+	// TickInterval is the time between two looks at the clock; at most half of the
 	// heartbeat interval.
-	Tick clock.Millis
-	// Ring is the number of inputs that may wait.
-	Ring int
-	// MaxWaiting is the number of proposals that may wait for their commit,
+	TickInterval clock.Millis
+	// RingCapacity is the number of inputs that may wait.
+	RingCapacity int
+	// MaxPending is the number of proposals that may wait for their commit,
 	// and of reads that may wait for their confirmation.
-	MaxWaiting int
+	MaxPending int
 	// SnapshotEntries is the number of applied entries between two snapshots.
 	SnapshotEntries uint64
 	// RetryDelay is the time between two tries on a failing disk.
@@ -107,22 +107,22 @@
 	// Proposals were appended on this member as leader, and Saves is the
 	// number of synced writes that carried them and all else.
 	Proposals int64
-	Saves     int64
+	LogWrites int64
 	Applied   int64
 	// DiskFailures counts failed writes, and SnapshotFailures failed local
 	// snapshots and failed reads of one.
-	DiskFailures     int64
-	SnapshotFailures int64
-	Snapshots        int64
-	Installs         int64
-	// Refused counts inputs that found the ring full.
-	Refused int64
-	// Dropped counts peer messages that were ignored while the disk failed.
-	Dropped int64
-	// Invalid counts peer messages that contradicted committed entries.
-	Invalid int64
-	// Unknown counts proposals that ended with an unknown outcome.
-	Unknown int64
+	DiskFailures       int64
+	SnapshotFailures   int64
+	Snapshots          int64
+	InstalledSnapshots int64
+	// RefusedInputs counts inputs that found the ring full.
+	RefusedInputs int64
+	// DroppedMessages counts peer messages that were ignored while the disk failed.
+	DroppedMessages int64
+	// InvalidMessages counts peer messages that contradicted committed entries.
+	InvalidMessages int64
+	// OutcomesUnknown counts proposals that ended with an unknown outcome.
+	OutcomesUnknown int64
 }
 
 // Status is a report of the member.
@@ -131,18 +131,18 @@
 	Role raft.Role
 	Term uint64
 	// Leader has the ID 0 when no leader is known.
-	Leader   raft.Member
-	Commit   uint64
-	Applied  uint64
-	Snapshot uint64
-	Version  model.Version
-	Members  []raft.Member
+	Leader        raft.Member
+	Commit        uint64
+	Applied       uint64
+	SnapshotIndex uint64
+	Version       model.Version
+	Members       []raft.Member
 	// Peers is set on the leader.
-	Peers   []raft.PeerStatus
-	Waiting int
-	// Disk is the error of the last failed write while the disk fails.
-	Disk   string
-	Counts Counts
+	Peers            []raft.PeerStatus
+	PendingProposals int
+	// DiskError is the error of the last failed write while the disk fails.
+	DiskError string
+	Counts    Counts
 }
 
 // view is what the duty last reported and acted on.
@@ -157,18 +157,18 @@
 
 // New returns the duty for a member with the given stored state. The error is
 // of kind disk or corrupt.
-func New[S Storage, C Codec](cfg Config, stored raft.Stored, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
-	cfg.Ring = max(cfg.Ring, 16)
-	cfg.MaxWaiting = max(cfg.MaxWaiting, 1)
+func New[S Storage, C Codec](cfg Config, stored raft.StoredState, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
+	cfg.RingCapacity = max(cfg.RingCapacity, 16)
+	cfg.MaxPending = max(cfg.MaxPending, 1)
 	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
-	cfg.Tick = min(max(cfg.Tick, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
+	cfg.TickInterval = min(max(cfg.TickInterval, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
 	cfg.RetryDelay = max(cfg.RetryDelay, 1)
 	if cfg.Send == nil {
 		cfg.Send = func([]raft.Message) {}
 	}
 	g := &Group[S, C]{
 		cfg: cfg, clock: clk, storage: storage, codec: codec,
-		ring:    ring.New[input](cfg.Ring),
+		ring:    ring.New[input](cfg.RingCapacity),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 		state:   fleet.New(),
@@ -206,20 +206,20 @@
 func (g *Group[S, C]) Run() error {
 	defer close(g.done)
 	defer g.abandon()
-	tick := g.clock.After(g.cfg.Tick)
-	batch := make([]input, 0, g.cfg.Ring)
+	tick := g.clock.After(g.cfg.TickInterval)
+	batch := make([]input, 0, g.cfg.RingCapacity)
 	for g.terminalErr == nil {
 		select {
 		case <-g.stop:
 			return nil
 		case in := <-g.ring.C():
-			batch = g.ring.Drain(append(batch[:0], in), g.cfg.Ring)
+			batch = g.ring.Drain(append(batch[:0], in), g.cfg.RingCapacity)
 			for _, in := range batch {
 				g.take(in)
 			}
 			clear(batch)
 		case <-tick:
-			tick = g.clock.After(g.cfg.Tick)
+			tick = g.clock.After(g.cfg.TickInterval)
 			g.tick()
 		}
 		g.flush()
@@ -236,7 +236,7 @@
 // abandon answers everyone who still waits.
 func (g *Group[S, C]) abandon() {
 	g.failWaiting("the member stopped")
-	for _, in := range g.ring.Drain(nil, g.cfg.Ring) {
+	for _, in := range g.ring.Drain(nil, g.cfg.RingCapacity) {
 		in.answer(answer{err: failf(in.op, KindStopped, "the member stopped")})
 	}
 }
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -100,9 +100,9 @@
 	kind, leader := kindOf(o.err)
 	assert.Equal(t, kind, KindNotLeader)
 	assert.Equal(t, leader.ID, lead)
-	kind, _ = kindOf(c.group(follower).Read(t.Context()))
+	kind, _ = kindOf(c.group(follower).ReadBarrier(t.Context()))
 	assert.Equal(t, kind, KindNotLeader)
-	assert.NilError(t, c.group(lead).Read(t.Context()))
+	assert.NilError(t, c.group(lead).ReadBarrier(t.Context()))
 }
 
 // TestBatch guards against a sync for each proposal: those that wait share one.
@@ -145,10 +145,10 @@
 	c.links.cut(old, true)
 	end := c.propose(old, apply("b", "request-2"))
 	read := make(chan error, 1)
-	go func() { read <- c.group(old).Read(context.Background()) }()
+	go func() { read <- c.group(old).ReadBarrier(context.Background()) }()
 	lead := c.leader(others(old)...)
 	kind, _ := kindOf(c.wait(end).err)
-	assert.Assert(t, kind == KindUnknown || kind == KindNotLeader)
+	assert.Assert(t, kind == KindOutcomeUnknown || kind == KindNotLeader)
 	assert.Assert(t, <-read != nil)
 
 	again := c.wait(c.propose(lead, apply("a", "request-1")))
@@ -167,17 +167,17 @@
 	assert.NilError(t, c.wait(c.propose(bad, apply("a", ""))).err)
 	c.disks[bad].broken.Store(true)
 	kind, _ := kindOf(c.wait(c.propose(bad, apply("b", "request-2"))).err)
-	assert.Equal(t, kind, KindUnknown)
+	assert.Equal(t, kind, KindOutcomeUnknown)
 	kind, _ = kindOf(c.wait(c.propose(bad, apply("c", ""))).err)
 	assert.Equal(t, kind, KindDisk)
 
 	lead := c.leader(others(bad)...)
 	assert.NilError(t, c.wait(c.propose(lead, apply("b", "request-2"))).err)
 	c.until("retries", func() bool { return c.status(bad).Counts.DiskFailures > 2 })
-	assert.Assert(t, c.status(bad).Disk != "")
+	assert.Assert(t, c.status(bad).DiskError != "")
 	assert.Equal(t, c.contracts(bad), 1)
 	c.disks[bad].broken.Store(false)
-	c.until("the return", func() bool { return c.contracts(bad) == 2 && c.status(bad).Disk == "" })
+	c.until("the return", func() bool { return c.contracts(bad) == 2 && c.status(bad).DiskError == "" })
 }
 
 // join adds a member and waits until it votes and the group has the size.
@@ -206,7 +206,7 @@
 	assert.NilError(t, c.wait(c.propose(lead, apply("a", ""))).err)
 	for id := raft.MemberID(2); id <= 3; id++ {
 		m := raft.Member{ID: id, Name: model.Process(fmt.Sprint("member", id))}
-		c.start(m, &memory{stored: raft.Stored{Self: m}})
+		c.start(m, &memory{stored: raft.StoredState{Self: m}})
 		c.join(lead, m, int(id))
 	}
 	c.links.cut(1, true)
@@ -218,7 +218,7 @@
 // cannot decode, and then differs from the others.
 func TestCorrupt(t *testing.T) {
 	self := raft.Member{ID: 1, Voter: true}
-	disk := &memory{stored: raft.Stored{
+	disk := &memory{stored: raft.StoredState{
 		Self: self, Hard: raft.HardState{Term: 1, Commit: 1},
 		Snapshot: raft.SnapshotMeta{Members: []raft.Member{self}},
 		Entries:  []raft.Entry{{Index: 1, Term: 1, Data: []byte("no change")}},
@@ -248,10 +248,10 @@
 	<-c.group(lost).Done()
 
 	m := raft.Member{ID: 9, Name: name}
-	c.start(m, &memory{stored: raft.Stored{Self: m}})
+	c.start(m, &memory{stored: raft.StoredState{Self: m}})
 	c.join(lead, m, 3)
 	c.until("the state", func() bool { return c.contracts(9) == 60 })
-	assert.Equal(t, c.status(9).Counts.Installs, int64(1))
+	assert.Equal(t, c.status(9).Counts.InstalledSnapshots, int64(1))
 
 	c.links.cut(others(lead)[1], true)
 	assert.NilError(t, c.wait(c.propose(lead, apply("last", ""))).err)
@@ -269,7 +269,7 @@
 		c.group(id + 1).Stop()
 		<-c.group(id + 1).Done()
 	}
-	kind, _ := kindOf(c.group(lead).Read(t.Context()))
+	kind, _ := kindOf(c.group(lead).ReadBarrier(t.Context()))
 	assert.Equal(t, kind, KindStopped)
 	for id := range raft.MemberID(3) {
 		c.start(raft.Member{ID: id + 1}, c.disks[id+1])
--- a/core/coord/group/perform.go
+++ b/core/coord/group/perform.go
@@ -52,7 +52,7 @@
 		if err := g.storage.Save(out.Hard, out.Append); err != nil {
 			return failf("save", KindDisk, "%w", err)
 		}
-		g.counts.Saves++
+		g.counts.LogWrites++
 	}
 	if out.Install == nil {
 		return nil
@@ -67,7 +67,7 @@
 	g.state = state
 	g.applied = out.Install.Index
 	g.snapped = out.Install.Index
-	g.counts.Installs++
+	g.counts.InstalledSnapshots++
 	return nil
 }
 
@@ -121,7 +121,7 @@
 	if g.failed != nil || g.terminalErr != nil || g.applied-g.snapped < g.cfg.SnapshotEntries || now < g.nextSnap {
 		return
 	}
-	meta, ok := g.node.Meta(g.applied)
+	meta, ok := g.node.SnapshotMetaAt(g.applied)
 	if !ok {
 		return
 	}
--- a/core/coord/group/take.go
+++ b/core/coord/group/take.go
@@ -47,7 +47,7 @@
 // refuse turns an input away while the disk fails.
 func (g *Group[S, C]) refuse(in input) {
 	if in.kind == inputMessages {
-		g.counts.Dropped += int64(len(in.messages))
+		g.counts.DroppedMessages += int64(len(in.messages))
 		return
 	}
 	in.answer(answer{err: failf(in.op, KindDisk, "%w", g.failure)})
@@ -59,7 +59,7 @@
 		in.answer(answer{err: g.notLeader(in.op)})
 		return
 	}
-	if len(g.waiting) >= g.cfg.MaxWaiting {
+	if len(g.waiting) >= g.cfg.MaxPending {
 		in.answer(answer{err: failf(in.op, KindBusy, "%d proposals wait for their commit", len(g.waiting))})
 		return
 	}
@@ -85,12 +85,12 @@
 }
 
 func (g *Group[S, C]) read(in input) {
-	if len(g.reads) >= g.cfg.MaxWaiting {
+	if len(g.reads) >= g.cfg.MaxPending {
 		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for their confirmation", len(g.reads))})
 		return
 	}
 	g.lastRead++
-	if err := g.node.Read(g.lastRead, g.clock.Now()); err != nil {
+	if err := g.node.ReadIndex(g.lastRead, g.clock.Now()); err != nil {
 		in.answer(answer{err: g.translate(in.op, err)})
 		return
 	}
@@ -101,7 +101,7 @@
 	now := g.clock.Now()
 	for _, m := range messages {
 		if g.node.Step(m, now) != nil {
-			g.counts.Invalid++
+			g.counts.InvalidMessages++
 		}
 	}
 }
@@ -156,12 +156,12 @@
 func (g *Group[S, C]) status() Status {
 	s := Status{
 		Self: g.node.Self(), Role: g.node.Role(), Term: g.node.Term(), Leader: g.member(g.node.Leader()),
-		Commit: g.node.Commit(), Applied: g.applied, Snapshot: g.snapped, Version: g.state.Version,
-		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), Waiting: len(g.waiting), Counts: g.counts,
+		Commit: g.node.Commit(), Applied: g.applied, SnapshotIndex: g.snapped, Version: g.state.Version,
+		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), PendingProposals: len(g.waiting), Counts: g.counts,
 	}
-	s.Counts.Refused = g.ring.Refused()
+	s.Counts.RefusedInputs = g.ring.Refused()
 	if g.failed != nil {
-		s.Disk = g.failure.Error()
+		s.DiskError = g.failure.Error()
 	}
 	return s
 }
@@ -170,8 +170,8 @@
 // still be committed by the next leader.
 func (g *Group[S, C]) failWaiting(reason string) {
 	for index, w := range g.waiting {
-		g.counts.Unknown++
-		w.reply <- answer{err: failf(w.op, KindUnknown, "%s before entry %d was committed", reason, index)}
+		g.counts.OutcomesUnknown++
+		w.reply <- answer{err: failf(w.op, KindOutcomeUnknown, "%s before entry %d was committed", reason, index)}
 	}
 	clear(g.waiting)
 	for _, reply := range g.reads {
@@ -179,7 +179,7 @@
 	}
 	clear(g.reads)
 	for _, in := range g.joins {
-		in.answer(answer{err: failf(in.op, KindUnknown, "%s", reason)})
+		in.answer(answer{err: failf(in.op, KindOutcomeUnknown, "%s", reason)})
 	}
 	g.joins = nil
 }
--- a/core/coord/lender/lender.go
+++ b/core/coord/lender/lender.go
@@ -27,28 +27,28 @@
 // Peers carries messages to other entry processes. An error means that there
 // was no answer.
 type Peers interface {
-	Lend(ctx context.Context, to model.Member, a lend.Ask) (lend.Answer, error)
+	Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error)
 	Return(ctx context.Context, to model.Member, r lend.Return) error
 	Recall(ctx context.Context, to model.Member, r lend.Recall) (clear bool, err error)
 }
 
-// Book takes in how the orders ended.
-type Book interface {
-	Answered(o lend.Order, asked clock.Millis, a lend.Answer, ok bool)
-	Returned(o lend.Order, ok bool)
+// LoanLedger takes in how the orders ended.
+type LoanLedger interface {
+	Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool)
+	Returned(o lend.Message, ok bool)
 	Acknowledged(from model.Process)
 	// Leave ends the loans held and returns the orders that give them back.
-	Leave() []lend.Order
+	Leave() []lend.Message
 }
 
-// Links closes the connections of a loan and reports whether none is left.
-type Links interface {
+// Connections closes the connections of a loan and reports whether none is left.
+type Connections interface {
 	Close(name string) bool
 }
 
-// Lender is the duty. Its ring is filled by the owner of the ledger.
-type Lender[P Peers, B Book, L Links] struct {
-	in    *ring.Ring[lend.Order]
+// Sender is the duty. Its ring is filled by the owner of the ledger.
+type Sender[P Peers, B LoanLedger, L Connections] struct {
+	in    *ring.Ring[lend.Message]
 	peers P
 	book  B
 	links L
@@ -60,24 +60,24 @@
 
 type peer struct {
 	member model.Member
-	in     *ring.Ring[lend.Order]
+	in     *ring.Ring[lend.Message]
 }
 
 // New returns a duty that reads orders from in.
-func New[P Peers, B Book, L Links](in *ring.Ring[lend.Order], entries []model.Member, p P, b B, l L, c clock.Clock) *Lender[P, B, L] {
-	d := &Lender[P, B, L]{
+func New[P Peers, B LoanLedger, L Connections](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
+	d := &Sender[P, B, L]{
 		in: in, peers: p, book: b, links: l, clock: c,
 		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	for _, m := range entries {
-		d.to[m.Name] = peer{member: m, in: ring.New[lend.Order](peerRing)}
+		d.to[m.Name] = peer{member: m, in: ring.New[lend.Message](peerRing)}
 	}
 	return d
 }
 
 // Run hands the orders out until Stop, and then gives back what is held: a
 // lender would else keep the slots idle for longer than a request may last.
-func (d *Lender[P, B, L]) Run() error {
+func (d *Sender[P, B, L]) Run() error {
 	defer close(d.ended)
 	var wg sync.WaitGroup
 	for _, p := range d.to {
@@ -92,11 +92,11 @@
 	return nil
 }
 
-func (d *Lender[P, B, L]) handOut() {
+func (d *Sender[P, B, L]) handOut() {
 	for {
 		select {
 		case o := <-d.in.C():
-			if p, ok := d.to[o.To]; !ok || !p.in.Put(o) {
+			if p, ok := d.to[o.To]; !ok || !p.in.TryPut(o) {
 				d.fail(o)
 			}
 		case <-d.done:
@@ -106,13 +106,13 @@
 }
 
 // Stop ends Run and waits for its end, so that the book outlives it.
-func (d *Lender[P, B, L]) Stop() {
+func (d *Sender[P, B, L]) Stop() {
 	close(d.done)
 	<-d.ended
 }
 
 // Refused is the number of orders that found a full ring.
-func (d *Lender[P, B, L]) Refused() int64 {
+func (d *Sender[P, B, L]) Refused() int64 {
 	n := d.in.Refused()
 	for _, p := range d.to {
 		n += p.in.Refused()
@@ -120,7 +120,7 @@
 	return n
 }
 
-func (d *Lender[P, B, L]) runPeer(p peer) {
+func (d *Sender[P, B, L]) runPeer(p peer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
@@ -134,8 +134,8 @@
 }
 
 // carry sends one order and tells the book how it ended.
-func (d *Lender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Order) {
-	if !d.closed(o.Close) {
+func (d *Sender[P, B, L]) carry(ctx context.Context, to model.Member, o lend.Message) {
+	if !d.closed(o.CloseConnections) {
 		d.fail(o)
 		return
 	}
@@ -145,19 +145,19 @@
 	// it ends at the lender, whatever the message took.
 	asked := d.clock.Now()
 	switch o.Kind {
-	case lend.OrderAsk:
-		a, err := d.peers.Lend(ctx, to, o.Ask)
+	case lend.MessageRequest:
+		a, err := d.peers.Lend(ctx, to, o.Request)
 		d.book.Answered(o, asked, a, err == nil)
-	case lend.OrderReturn:
+	case lend.MessageReturn:
 		d.book.Returned(o, d.peers.Return(ctx, to, o.Return) == nil)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 		if clear, err := d.peers.Recall(ctx, to, o.Recall); err == nil && clear {
 			d.book.Acknowledged(o.To)
 		}
 	}
 }
 
-func (d *Lender[P, B, L]) closed(names []string) bool {
+func (d *Sender[P, B, L]) closed(names []string) bool {
 	for try := 1; ; try++ {
 		left := false
 		for _, name := range names {
@@ -171,12 +171,12 @@
 }
 
 // fail ends an order that was not sent as one without an answer.
-func (d *Lender[P, B, L]) fail(o lend.Order) {
+func (d *Sender[P, B, L]) fail(o lend.Message) {
 	switch o.Kind {
-	case lend.OrderAsk:
-		d.book.Answered(o, d.clock.Now(), lend.Answer{}, false)
-	case lend.OrderReturn:
+	case lend.MessageRequest:
+		d.book.Answered(o, d.clock.Now(), lend.LoanResponse{}, false)
+	case lend.MessageReturn:
 		d.book.Returned(o, false)
-	case lend.OrderRecall:
+	case lend.MessageRecall:
 	}
 }
--- a/core/coord/mover/board.go
+++ b/core/coord/mover/board.go
@@ -10,35 +10,35 @@
 	"camphorridge/core/state/model"
 )
 
-// Board decides maintenance waves by package maint. It follows the table by
+// WavePlanner decides maintenance waves by package maint. It follows the table by
 // what changed, and is filled anew in each term.
-type Board[P maint.Pacer, J maint.Judge] struct {
+type WavePlanner[P maint.Pacer, J maint.StopPolicy] struct {
 	pacer P
 	judge J
 	set   maint.Settings
-	board *maint.Board[P, J]
+	board *maint.Planner[P, J]
 	// declared holds the declarations that the board knows, by version.
 	declared map[string]model.Version
 }
 
-// NewBoard returns a board with the policies given.
-func NewBoard[P maint.Pacer, J maint.Judge](p P, j J, set maint.Settings) *Board[P, J] {
-	b := &Board[P, J]{pacer: p, judge: j, set: set}
+// NewWavePlanner returns a board with the policies given.
+func NewWavePlanner[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *WavePlanner[P, J] {
+	b := &WavePlanner[P, J]{pacer: p, judge: j, set: set}
 	b.Reset(nil)
 	return b
 }
 
 // Reset forgets everything and takes the finished outages, for a new term.
-func (b *Board[P, J]) Reset(outages []model.Outage) {
-	b.board = maint.NewBoard(b.pacer, b.judge, b.set)
+func (b *WavePlanner[P, J]) Reset(outages []model.Outage) {
+	b.board = maint.NewPlanner(b.pacer, b.judge, b.set)
 	b.declared = map[string]model.Version{}
 	for _, o := range outages {
 		b.board.SetOutage(maint.Outage{Instance: o.Instance, Pool: o.Pool, From: o.From, To: o.To})
 	}
 }
 
-// Follow tells the board what changed in the replicated state.
-func (b *Board[P, J]) Follow(c Changed) {
+// Update tells the board what changed in the replicated state.
+func (b *WavePlanner[P, J]) Update(c StateChanges) {
 	for _, x := range c.Delta.Contracts {
 		b.board.SetContract(x)
 	}
@@ -47,8 +47,8 @@
 	}
 	for _, i := range c.Delta.Instances {
 		b.board.SetInstance(i)
-		if i.Out != 0 {
-			b.board.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.Out})
+		if i.OutSince != 0 {
+			b.board.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.OutSince})
 		}
 	}
 	for _, o := range c.Outages {
@@ -68,32 +68,36 @@
 	}
 }
 
-// See tells the board what the entry processes say about an instance.
-func (b *Board[P, J]) See(id model.InstanceID, s maint.Seen) { b.board.SetSeen(id, s) }
+// SetObservation tells the board what the entry processes say about an instance.
+func (b *WavePlanner[P, J]) SetObservation(id model.InstanceID, s maint.Observation) {
+	b.board.SetObservation(id, s)
+}
 
-// Feel tells the board what a customer's callers feel, in permille.
-func (b *Board[P, J]) Feel(c model.Customer, permille int) { b.board.SetPressure(c, permille) }
+// SetFailurePermille tells the board what a customer's callers feel, in permille.
+func (b *WavePlanner[P, J]) SetFailurePermille(c model.Customer, permille int) {
+	b.board.SetPressure(c, permille)
+}
 
 // Pass returns the steps that are due.
-func (b *Board[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
+func (b *WavePlanner[P, J]) Pass(now clock.Millis) maint.Plan { return b.board.Pass(now) }
 
-// Changed is what a pass of the mover found new in the replicated state.
-type Changed struct {
-	Delta       model.Delta
-	Maintenance map[string]model.Maintenance
-	Gone        map[model.Process]clock.Millis
+// StateChanges is what a pass of the mover found new in the replicated state.
+type StateChanges struct {
+	Delta        model.Delta
+	Maintenance  map[string]model.Maintenance
+	DeclaredGone map[model.Process]clock.Millis
 	// Outages lists the outages that finished since the last pass, in the order
 	// of their ends.
 	Outages []model.Outage
 }
 
 // collect reads what changed after a version and an outage.
-func collect(s *fleet.State, from model.Version, after model.Outage) Changed {
-	c := Changed{Delta: s.Delta(from), Maintenance: make(map[string]model.Maintenance, len(s.Maintenance))}
+func collect(s *fleet.State, from model.Version, after model.Outage) StateChanges {
+	c := StateChanges{Delta: s.Delta(from), Maintenance: make(map[string]model.Maintenance, len(s.Maintenance))}
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
-	c.Gone = maps.Clone(s.Gone)
+	c.DeclaredGone = maps.Clone(s.GoneProcesses)
 	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != after; i-- {
 		c.Outages = append(c.Outages, s.Outages[i])
 	}
--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/decide.go
@@ -15,17 +15,17 @@
 // Wait says why an instance's step has to wait.
 type Wait struct {
 	Instance model.InstanceID
-	// For lists the entry processes that have not confirmed the release.
-	For    []model.Process
-	Since  clock.Millis
-	Reason string
+	// Unconfirmed lists the entry processes that have not confirmed the release.
+	Unconfirmed []model.Process
+	Since       clock.Millis
+	Reason      string
 }
 
 // Enrol returns the steps that make announced instances part of the fleet. The
 // period until their next maintenance starts now.
 func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
-	for id := range g.Fresh {
+	for id := range g.NewlyAnnounced {
 		l, live := g.Live[id]
 		_, known := t.Instances[id]
 		if !live || known || l.Announcement.State != model.AnnounceServing {
@@ -35,7 +35,7 @@
 		steps = append(steps, model.InstanceStep{Instance: model.Instance{
 			ID: id, Zone: a.Zone, Rack: a.Rack, Pool: a.Pool, Target: a.Pool,
 			Phase: model.PhaseServing, Slots: a.Slots, Connections: a.Connections,
-			Reason: "announced", Maintained: now,
+			Reason: "announced", MaintainedAt: now,
 		}})
 	}
 	return first(steps)
@@ -46,13 +46,13 @@
 func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
 	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
 		return model.InstanceStep{}, &Wait{
-			Instance: i.ID, For: missing, Since: i.Since,
+			Instance: i.ID, Unconfirmed: missing, Since: i.PhaseSince,
 			Reason: "an entry process has not confirmed the release",
 		}
 	}
 	next := i
 	if i.Target == model.PoolNone {
-		next.Phase, next.Lost = model.PhaseRetired, 0
+		next.Phase, next.LostSince = model.PhaseRetired, 0
 		return model.InstanceStep{Base: i.Version, Instance: next}, nil
 	}
 	next.Phase = model.PhaseServing
@@ -71,21 +71,21 @@
 		if !ok || i.Phase != model.PhaseServing {
 			continue
 		}
-		if i.Lost != 0 || now-since < LossGrace || g.Silent(i.Zone, now) {
+		if i.LostSince != 0 || now-since < LossGrace || g.ZoneSilent(i.Zone, now) {
 			continue
 		}
 		next := i
-		next.Lost = now
+		next.LostSince = now
 		next.Reason = "lost: no entry process hears it"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
-	for id := range g.Fresh {
+	for id := range g.NewlyAnnounced {
 		i, ok := t.Instances[id]
-		if !ok || i.Lost == 0 || i.Phase != model.PhaseServing {
+		if !ok || i.LostSince == 0 || i.Phase != model.PhaseServing {
 			continue
 		}
 		next := i
-		next.Lost = 0
+		next.LostSince = 0
 		next.Reason = "heard again"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
@@ -106,7 +106,7 @@
 	case maint.StepReturn:
 		next.Phase, next.Target = model.PhaseServing, i.Pool
 		if s.Done {
-			next.Maintained = now
+			next.MaintainedAt = now
 			next.Reason = "maintained: " + s.Reason
 		}
 	default:
--- a/core/coord/mover/felt.go
+++ b/core/coord/mover/felt.go
@@ -31,10 +31,10 @@
 	return feeling{customers: map[model.Customer]count{}, instances: map[model.InstanceID]count{}}
 }
 
-func (f *feeling) add(x model.Felt) {
+func (f *feeling) add(x model.LoadReport) {
 	for _, c := range x.Customers {
 		n := f.customers[c.Customer]
-		f.customers[c.Customer] = count{n.all + float64(c.Asks), n.bad + float64(c.Suffered)}
+		f.customers[c.Customer] = count{n.all + float64(c.Requests), n.bad + float64(c.Impaired)}
 	}
 	for _, i := range x.Instances {
 		n := f.instances[i.Instance]
@@ -72,7 +72,7 @@
 	}
 	f.at = now
 	for name := range m.table.Contracts {
-		m.Board.Feel(name, f.customers[name].permille())
+		m.Waves.SetFailurePermille(name, f.customers[name].permille())
 	}
 	for id, c := range f.instances {
 		s := m.seen[id]
@@ -84,7 +84,7 @@
 }
 
 // keep carries the counts over to what is newly known of an instance.
-func keep(old, s maint.Seen) maint.Seen {
+func keep(old, s maint.Observation) maint.Observation {
 	s.Calls, s.Failures = old.Calls, old.Failures
 	return s
 }
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -45,8 +45,8 @@
 }
 
 // Mover is the duty. Its methods may be called from any goroutine.
-type Mover[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
-	Parts[G, P, C, J, A, S]
+type Mover[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
+	Config[G, P, C, J, A, S]
 	in    *ring.Ring[input]
 	done  chan struct{}
 	ended chan struct{}
@@ -63,7 +63,7 @@
 	// silent holds the zones of which no entry process has reported lately.
 	silent map[model.Zone]bool
 	// seen is what the board was last told of an instance.
-	seen map[model.InstanceID]maint.Seen
+	seen map[model.InstanceID]maint.Observation
 	// felt sums what callers felt lately.
 	felt feeling
 	// outage is the last finished outage that was read.
@@ -86,26 +86,26 @@
 	Waits     []Wait
 }
 
-// Parts are what a mover works with.
-type Parts[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser] struct {
+// Config are what a mover works with.
+type Config[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	// Name is the author of the mover's changes.
 	Name string
 	// Entries lists the configured entry processes of all zones.
 	Entries  []model.Member
 	Group    G
 	Platform P
-	Board    *Board[C, J]
-	Capacity *Capacity[A, S]
+	Waves    *WavePlanner[C, J]
+	Capacity *CapacityPlanner[A, S]
 	Clock    clock.Clock
 	// Events takes the events of the time line; it must not wait.
 	Events func(model.Event)
 }
 
 // New returns a mover; Run must be called for it to do anything.
-func New[G Group, P Platform, C maint.Pacer, J maint.Judge, A plan.Policy, S plan.Chooser](p Parts[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
+func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](p Config[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
 	m := &Mover[G, P, C, J, A, S]{
-		Parts: p,
-		in:    ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
+		Config: p,
+		in:     ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	m.reset(0)
 	return m
@@ -119,11 +119,11 @@
 	m.moving = map[model.InstanceID]bool{}
 	m.away = map[model.InstanceID]bool{}
 	m.silent = map[model.Zone]bool{}
-	m.seen = map[model.InstanceID]maint.Seen{}
+	m.seen = map[model.InstanceID]maint.Observation{}
 	m.felt = newFeeling()
 	m.outage = model.Outage{}
 	m.began = m.Clock.Now()
-	m.Board.Reset(nil)
+	m.Waves.Reset(nil)
 	m.Capacity.Reset()
 	m.rebooted = map[model.InstanceID]clock.Millis{}
 	m.waits = nil
@@ -141,7 +141,7 @@
 
 // Report takes a report of an entry process; false when the ring is full.
 func (m *Mover[G, P, C, J, A, S]) Report(r follow.Report) bool {
-	return m.in.Put(input{report: &r})
+	return m.in.TryPut(input{report: &r})
 }
 
 // Status returns what the mover knows of the entry processes.
@@ -194,8 +194,8 @@
 	// before the first pass of a term must outlast the reset of that pass.
 	m.followTerm()
 	before := m.registry.Processes[i.report.Process].Drained
-	m.registry.Take(*i.report, m.Clock.Now())
-	m.felt.add(i.report.Felt)
+	m.registry.AddReport(*i.report, m.Clock.Now())
+	m.felt.add(i.report.Load)
 	m.Capacity.Report(i.report.Process, i.report.Demand, m.Clock.Now())
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
 }
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -43,8 +43,8 @@
 }
 
 type (
-	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread, plan.QueueOnly]
-	testParts = Parts[*fakeGroup, *fakePlatform, maint.FullSpeed, maint.Never, plan.Spread, plan.QueueOnly]
+	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
+	testParts = Config[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
 )
 
 // world is a mover with two entry processes of one zone.
@@ -70,11 +70,11 @@
 		drained: map[model.Process]model.Version{},
 	}
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
-	set := maint.Settings{StepMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, RetryMillis: 1000}
-	board := NewBoard(maint.FullSpeed{}, maint.Never{}, set)
-	capacity := NewCapacity(plan.Spread{}, plan.Settings{}, 30_000, NewSurges(plan.QueueOnly{}, plan.Weights{}, false))
+	set := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PressureRetryMillis: 1000}
+	board := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
+	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurgePlanner(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New(testParts{
-		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Board: board,
+		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Waves: board,
 		Capacity: capacity, Clock: clk.Clock(), Events: func(e model.Event) {
 			e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
 			w.events = append(w.events, e)
@@ -139,7 +139,7 @@
 	w.drained["e2"] = w.group.state.Version
 	delete(w.live, "i0")
 	w.run(20 * clock.Second)
-	assert.Assert(t, w.instance("i0").Lost != 0)
+	assert.Assert(t, w.instance("i0").LostSince != 0)
 	assert.Equal(t, len(w.mover.moving), 0, "a restart must not cost moves")
 	w.run(20 * clock.Second)
 	assert.Equal(t, len(w.mover.moving), 1)
@@ -151,7 +151,7 @@
 	assert.Equal(t, w.instance(moved).Phase, model.PhaseReleasing)
 	w.run(60 * clock.Second)
 	assert.Equal(t, w.instance(moved).Pool, model.Pool("portal"), "e2 has not confirmed")
-	assert.DeepEqual(t, w.mover.waits[0].For, []model.Process{"e2"})
+	assert.DeepEqual(t, w.mover.waits[0].Unconfirmed, []model.Process{"e2"})
 	delete(w.drained, "e2")
 	w.run(3 * clock.Second)
 	assert.Equal(t, w.instance(moved).Pool, model.Pool("merge"))
@@ -188,7 +188,7 @@
 	}
 	for id, i := range w.group.state.Instances {
 		if i.Pool == "merge" {
-			assert.Assert(t, i.Maintained >= w.group.state.Maintenance["m"].Declared, "%s was not maintained", id)
+			assert.Assert(t, i.MaintainedAt >= w.group.state.Maintenance["m"].DeclaredAt, "%s was not maintained", id)
 		}
 	}
 }
@@ -202,7 +202,7 @@
 		w.mover.pass()
 	}
 	for id, i := range w.group.state.Instances {
-		assert.Assert(t, i.Lost == 0 && i.Phase == model.PhaseServing, "%s is %v", id, i)
+		assert.Assert(t, i.LostSince == 0 && i.Phase == model.PhaseServing, "%s is %v", id, i)
 	}
 }
 
@@ -232,15 +232,15 @@
 	w.run(10 * clock.Second)
 	delete(w.live, "i0")
 	w.run(10 * clock.Second)
-	assert.Assert(t, w.instance("i0").Lost != 0, "the loss was not noticed")
-	assert.Assert(t, w.instance("i1").Lost == 0, "e1 hears it")
+	assert.Assert(t, w.instance("i0").LostSince != 0, "the loss was not noticed")
+	assert.Assert(t, w.instance("i1").LostSince == 0, "e1 hears it")
 	w.live["i0"] = w.live["i1"]
 	a := w.live["i0"]
 	a.Instance = "i0"
 	w.live["i0"] = a
 	w.frozen = ""
 	w.run(3 * clock.Second)
-	assert.Assert(t, w.instance("i0").Lost == 0, "it is heard again")
+	assert.Assert(t, w.instance("i0").LostSince == 0, "it is heard again")
 }
 
 // TestThawedEntryHearsAgain guards against a loss that is declared because the
@@ -248,16 +248,16 @@
 func TestThawedEntryHearsAgain(t *testing.T) {
 	g := NewRegistry()
 	a := model.Announcement{Instance: "i0", Zone: "za", Incarnation: 1}
-	g.Take(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
-	g.Take(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
-	g.Take(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
-	g.Hush(SilentAfter + 1)
+	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
+	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
+	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
+	g.MarkSilentProcesses(SilentAfter + 1)
 	_, absent := g.Absent["i0"]
 	assert.Assert(t, absent, "only the frozen process hears it")
-	g.Take(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
+	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the thawed process hears it")
-	g.Hush(4 * SilentAfter)
+	g.MarkSilentProcesses(4 * SilentAfter)
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the zone is silent as a whole")
 }
--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/moves.go
@@ -10,17 +10,17 @@
 	"camphorridge/core/state/plan"
 )
 
-// Capacity decides moves between pools by package plan. It follows the table
+// CapacityPlanner decides moves between pools by package plan. It follows the table
 // by what changed and decides only after a change.
-type Capacity[A plan.Policy, S plan.Chooser] struct {
-	*Surges[S]
+type CapacityPlanner[A plan.Policy, S plan.Chooser] struct {
+	*SurgePlanner[S]
 	policy A
 	set    plan.Settings
 	// RepairAfter is the time that a lost instance is waited for before another
 	// takes its place: most come back from a restart, and each repair costs two
 	// moves.
 	RepairAfter clock.Millis
-	book        *plan.Book
+	book        *plan.FleetIndex
 	contracts   map[model.Customer]model.Contract
 	// lost holds the instances that are lost and not yet given up.
 	lost  map[model.InstanceID]model.Instance
@@ -28,25 +28,25 @@
 	last  plan.Assignment
 }
 
-// NewCapacity returns a capacity decision with the policy given.
-func NewCapacity[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *Surges[S]) *Capacity[A, S] {
-	c := &Capacity[A, S]{Surges: s, policy: p, set: set, RepairAfter: repairAfter}
+// NewCapacityPlanner returns a capacity decision with the policy given.
+func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *SurgePlanner[S]) *CapacityPlanner[A, S] {
+	c := &CapacityPlanner[A, S]{SurgePlanner: s, policy: p, set: set, RepairAfter: repairAfter}
 	c.Reset()
 	return c
 }
 
 // Reset forgets everything, for a new term.
-func (c *Capacity[A, S]) Reset() {
-	c.book = plan.NewBook(nil)
+func (c *CapacityPlanner[A, S]) Reset() {
+	c.book = plan.NewFleetIndex(nil)
 	c.contracts = map[model.Customer]model.Contract{}
 	c.lost = map[model.InstanceID]model.Instance{}
 	c.last = plan.Assignment{}
 	c.dirty = false
-	c.Surges.Reset()
+	c.SurgePlanner.Reset()
 }
 
-// Follow takes what changed in the table.
-func (c *Capacity[A, S]) Follow(d model.Delta) {
+// Update takes what changed in the table.
+func (c *CapacityPlanner[A, S]) Update(d model.Delta) {
 	for _, x := range d.Contracts {
 		c.contracts[x.Customer] = x
 	}
@@ -65,7 +65,7 @@
 	for _, i := range d.Instances {
 		c.book.SetInstance(i, false)
 		delete(c.lost, i.ID)
-		if i.Lost != 0 {
+		if i.LostSince != 0 {
 			c.lost[i.ID] = i
 		}
 		c.dirty = true
@@ -75,9 +75,9 @@
 // Moves returns the releases that start moves, and what the moves cannot
 // reach. It decides anew only after a change, or when a lost instance has been
 // waited for.
-func (c *Capacity[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
+func (c *CapacityPlanner[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
 	for id, i := range c.lost {
-		if now-i.Lost >= c.RepairAfter {
+		if now-i.LostSince >= c.RepairAfter {
 			c.book.SetInstance(i, true)
 			delete(c.lost, id)
 			c.dirty = true
@@ -92,7 +92,7 @@
 	var steps []model.InstanceStep
 	for _, m := range c.last.Moves {
 		i := t.Instances[m.Instance]
-		if i.Phase != model.PhaseServing || i.Lost != 0 {
+		if i.Phase != model.PhaseServing || i.LostSince != 0 {
 			continue
 		}
 		next := i
@@ -102,7 +102,7 @@
 	return steps, c.waits()
 }
 
-func (c *Capacity[A, S]) waits() []Wait {
+func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
 	for _, g := range c.last.Gaps {
 		waits = append(waits, Wait{
@@ -115,5 +115,5 @@
 	return waits
 }
 
-// Retry makes the next call decide again, after steps that were not applied.
-func (c *Capacity[A, S]) Retry() { c.dirty = true }
+// Invalidate makes the next call decide again, after steps that were not applied.
+func (c *CapacityPlanner[A, S]) Invalidate() { c.dirty = true }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -33,15 +33,15 @@
 	steps := Enrol(m.table, m.registry, now)
 	moved, waits := m.finishMoves()
 	steps = append(steps, moved...)
-	m.registry.Hush(now)
+	m.registry.MarkSilentProcesses(now)
 	if now-m.began >= warmUp {
 		steps = append(steps, MarkLost(m.table, m.registry, now)...)
 	}
-	m.registry.Settle(m.table)
+	m.registry.ClearEnrolled(m.table)
 	m.seeZones(now)
 	m.seeUnderWay()
 	m.seeFelt(now)
-	plan := m.Board.Pass(now)
+	plan := m.Waves.Pass(now)
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
 	if now-m.began >= warmUp {
@@ -50,7 +50,7 @@
 		m.waits = append(m.waits, gaps...)
 	}
 	if !m.propose(distinct(steps)) {
-		m.Capacity.Retry()
+		m.Capacity.Invalidate()
 	}
 	m.reboots(now)
 }
@@ -73,7 +73,7 @@
 func (m *Mover[G, P, C, J, A, S]) refresh(now clock.Millis) bool {
 	ctx, cancel := m.deadline()
 	defer cancel()
-	var c Changed
+	var c StateChanges
 	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.outage) })
 	if err != nil {
 		return false
@@ -87,9 +87,9 @@
 	if len(c.Outages) > 0 {
 		m.outage = c.Outages[len(c.Outages)-1]
 	}
-	m.registry.Gone = c.Gone
-	m.Board.Follow(c)
-	m.Capacity.Follow(c.Delta)
+	m.registry.DeclaredGone = c.DeclaredGone
+	m.Waves.Update(c)
+	m.Capacity.Update(c.Delta)
 	for _, i := range c.Delta.Instances {
 		m.note(i, now)
 	}
@@ -111,18 +111,18 @@
 	}
 	delete(m.rebooted, i.ID)
 	if i.Phase == model.PhaseServing {
-		m.registry.Watch(i.ID, now)
-		m.see(i.ID, keep(m.seen[i.ID], maint.Seen{LostSince: i.Lost}))
+		m.registry.MarkAbsentIfUnreported(i.ID, now)
+		m.see(i.ID, keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince}))
 	}
 }
 
 // see tells the board what is known of an instance, when that changed.
-func (m *Mover[G, P, C, J, A, S]) see(id model.InstanceID, s maint.Seen) {
+func (m *Mover[G, P, C, J, A, S]) see(id model.InstanceID, s maint.Observation) {
 	if m.seen[id] == s {
 		return
 	}
 	m.seen[id] = s
-	m.Board.See(id, s)
+	m.Waves.SetObservation(id, s)
 }
 
 // seeZones counts the instances of zones that fell silent as lost, without
@@ -133,7 +133,7 @@
 	}
 	changed := map[model.Zone]bool{}
 	for _, e := range m.Entries {
-		if quiet := m.registry.Silent(e.Zone, now); quiet != m.silent[e.Zone] {
+		if quiet := m.registry.ZoneSilent(e.Zone, now); quiet != m.silent[e.Zone] {
 			m.silent[e.Zone] = quiet
 			changed[e.Zone] = true
 		}
@@ -145,7 +145,7 @@
 		if !changed[i.Zone] || i.Phase != model.PhaseServing {
 			continue
 		}
-		s := keep(m.seen[i.ID], maint.Seen{LostSince: i.Lost})
+		s := keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince})
 		if s.LostSince == 0 && m.silent[i.Zone] {
 			s.LostSince = now
 		}
@@ -157,7 +157,7 @@
 func (m *Mover[G, P, C, J, A, S]) seeUnderWay() {
 	for _, id := range slices.Sorted(maps.Keys(m.away)) {
 		i := m.table.Instances[id]
-		s := keep(m.seen[id], maint.Seen{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
+		s := keep(m.seen[id], maint.Observation{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
 		if i.Phase == model.PhaseMaintenance {
 			l, live := m.registry.Live[id]
 			s.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
@@ -205,7 +205,7 @@
 		}
 		if missing := m.registry.Unconfirmed(m.Entries, i.Zone, i.Version); len(missing) > 0 {
 			waits = append(waits, Wait{
-				Instance: id, For: missing, Since: i.Since,
+				Instance: id, Unconfirmed: missing, Since: i.PhaseSince,
 				Reason: "an entry process has not confirmed the release",
 			})
 		}
@@ -213,13 +213,13 @@
 	for _, w := range plan.Waits {
 		waits = append(waits, Wait{
 			Instance: w.Instance,
-			Reason:   fmt.Sprintf("pool %s, wave %s: limit %s of %s: %d of %d; %s", w.Pool, w.Wave, w.Limit, w.Customer, w.Have, w.Max, w.Unblock),
+			Reason:   fmt.Sprintf("pool %s, wave %s: limit %s of %s: %d of %d; %s", w.Pool, w.Wave, w.Limit, w.Customer, w.Current, w.Max, w.Unblock),
 		})
 	}
 	for _, s := range plan.Stops {
 		waits = append(waits, Wait{Reason: fmt.Sprintf("wave %s stopped: %s", s.Wave, s.Reason)})
 	}
-	for _, l := range plan.Late {
+	for _, l := range plan.UnmetDeadlines {
 		waits = append(waits, Wait{Reason: fmt.Sprintf("wave %s will miss its deadline for %s: %s", l.Wave, l.Customer, l.Reason)})
 	}
 	return waits
@@ -256,7 +256,7 @@
 	switch {
 	case held.ID != "" && held.Pool != next.Pool:
 		return model.EventMoved
-	case held.ID != "" && next.Maintained > held.Maintained:
+	case held.ID != "" && next.MaintainedAt > held.MaintainedAt:
 		return model.EventMaintained
 	}
 	return model.EventInstance
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -19,10 +19,10 @@
 	Incarnation uint64
 	Version     model.Version
 	Drained     model.Version
-	// Since is the time at which the leader first heard of Version.
-	Since clock.Millis
-	// Seen is the time of the latest report.
-	Seen clock.Millis
+	// VersionSince is the time at which the leader first heard of Version.
+	VersionSince clock.Millis
+	// LastReportAt is the time of the latest report.
+	LastReportAt clock.Millis
 }
 
 // Registry holds what the leader heard from the entry processes. It is not
@@ -32,57 +32,57 @@
 	// Live holds, for each instance, the announcement and the entry processes
 	// that hear it.
 	Live map[model.InstanceID]LiveInstance
-	// Fresh holds the instances that were announced since the last Settle and
+	// NewlyAnnounced holds the instances that were announced since the last Settle and
 	// may have to be enrolled, so that a pass costs what changed.
-	Fresh map[model.InstanceID]bool
+	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds the watched instances that no entry process hears, or only
 	// quiet ones, with the time since when.
 	Absent map[model.InstanceID]clock.Millis
-	// Quiet holds the entry processes that stopped reporting while others of
+	// SilentProcesses holds the entry processes that stopped reporting while others of
 	// their zone go on. What they heard last does not make an instance present:
 	// they may never come back, and would hide its loss.
-	Quiet map[model.Process]bool
-	// Gone holds the entry processes that were declared gone; runs that began
+	SilentProcesses map[model.Process]bool
+	// DeclaredGone holds the entry processes that were declared gone; runs that began
 	// before the time have ended.
-	Gone map[model.Process]clock.Millis
+	DeclaredGone map[model.Process]clock.Millis
 }
 
 // LiveInstance is an instance that at least one entry process hears.
 type LiveInstance struct {
 	Announcement model.Announcement
-	// Heard holds the entry processes that hear the instance; never empty.
-	Heard map[model.Process]bool
-	Since clock.Millis
+	// ReportedBy holds the entry processes that hear the instance; never empty.
+	ReportedBy map[model.Process]bool
+	Since      clock.Millis
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		Processes: map[model.Process]ProcessReport{},
-		Live:      map[model.InstanceID]LiveInstance{},
-		Fresh:     map[model.InstanceID]bool{},
-		Absent:    map[model.InstanceID]clock.Millis{},
-		Quiet:     map[model.Process]bool{},
+		Processes:       map[model.Process]ProcessReport{},
+		Live:            map[model.InstanceID]LiveInstance{},
+		NewlyAnnounced:  map[model.InstanceID]bool{},
+		Absent:          map[model.InstanceID]clock.Millis{},
+		SilentProcesses: map[model.Process]bool{},
 	}
 }
 
-// Take adds a report. Reports of an older run of a process are ignored.
-func (g *Registry) Take(r follow.Report, now clock.Millis) {
+// AddReport adds a report. Reports of an older run of a process are ignored.
+func (g *Registry) AddReport(r follow.Report, now clock.Millis) {
 	held, known := g.Processes[r.Process]
 	if known && r.Incarnation < held.Incarnation {
 		return
 	}
 	if !known || r.Incarnation > held.Incarnation {
 		g.forget(r.Process, now)
-		held = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, Since: now}
+		held = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, VersionSince: now}
 	}
 	if r.Version != held.Version {
-		held.Version, held.Since = r.Version, now
+		held.Version, held.VersionSince = r.Version, now
 	}
 	held.Drained = r.Drained
-	held.Seen = now
+	held.LastReportAt = now
 	g.Processes[r.Process] = held
-	if g.Quiet[r.Process] {
+	if g.SilentProcesses[r.Process] {
 		g.unhush(r.Process)
 	}
 	for _, a := range r.Live {
@@ -93,8 +93,8 @@
 	}
 }
 
-// Watch makes an instance absent from now on unless an entry process hears it.
-func (g *Registry) Watch(id model.InstanceID, now clock.Millis) {
+// MarkAbsentIfUnreported makes an instance absent from now on unless an entry process hears it.
+func (g *Registry) MarkAbsentIfUnreported(id model.InstanceID, now clock.Millis) {
 	_, absent := g.Absent[id]
 	if !absent && !g.present(id) {
 		g.Absent[id] = now
@@ -104,27 +104,27 @@
 // present reports whether an entry process that is not quiet hears an
 // instance.
 func (g *Registry) present(id model.InstanceID) bool {
-	for p := range g.Live[id].Heard {
-		if !g.Quiet[p] {
+	for p := range g.Live[id].ReportedBy {
+		if !g.SilentProcesses[p] {
 			return true
 		}
 	}
 	return false
 }
 
-// Hush finds the entry processes that became quiet. Those of a zone that is
+// MarkSilentProcesses finds the entry processes that became quiet. Those of a zone that is
 // silent as a whole do not count: it may be partitioned and serve its own
 // callers. Its cost follows the number of entry processes, and the number of
 // instances only when one becomes quiet.
-func (g *Registry) Hush(now clock.Millis) {
+func (g *Registry) MarkSilentProcesses(now clock.Millis) {
 	for _, r := range g.Processes {
-		if g.Quiet[r.Process] || now-r.Seen <= SilentAfter || g.Silent(r.Zone, now) {
+		if g.SilentProcesses[r.Process] || now-r.LastReportAt <= SilentAfter || g.ZoneSilent(r.Zone, now) {
 			continue
 		}
-		g.Quiet[r.Process] = true
+		g.SilentProcesses[r.Process] = true
 		for id, l := range g.Live {
-			if l.Heard[r.Process] {
-				g.Watch(id, now)
+			if l.ReportedBy[r.Process] {
+				g.MarkAbsentIfUnreported(id, now)
 			}
 		}
 	}
@@ -133,11 +133,11 @@
 // unhush makes present again what an entry process hears that reports again.
 // A process that was only frozen reports no more than what changed.
 func (g *Registry) unhush(p model.Process) {
-	delete(g.Quiet, p)
+	delete(g.SilentProcesses, p)
 	for id, l := range g.Live {
-		if l.Heard[p] {
+		if l.ReportedBy[p] {
 			delete(g.Absent, id)
-			g.Fresh[id] = true
+			g.NewlyAnnounced[id] = true
 		}
 	}
 }
@@ -145,14 +145,14 @@
 func (g *Registry) hear(p model.Process, a model.Announcement, now clock.Millis) {
 	l, ok := g.Live[a.Instance]
 	if !ok {
-		l = LiveInstance{Heard: map[model.Process]bool{}, Since: now}
+		l = LiveInstance{ReportedBy: map[model.Process]bool{}, Since: now}
 	}
 	if a.Incarnation >= l.Announcement.Incarnation {
 		l.Announcement = a
 	}
-	l.Heard[p] = true
+	l.ReportedBy[p] = true
 	g.Live[a.Instance] = l
-	g.Fresh[a.Instance] = true
+	g.NewlyAnnounced[a.Instance] = true
 	delete(g.Absent, a.Instance)
 }
 
@@ -161,11 +161,11 @@
 	if !ok {
 		return
 	}
-	delete(l.Heard, p)
-	if len(l.Heard) == 0 {
+	delete(l.ReportedBy, p)
+	if len(l.ReportedBy) == 0 {
 		delete(g.Live, id)
 	}
-	g.Watch(id, now)
+	g.MarkAbsentIfUnreported(id, now)
 }
 
 func (g *Registry) forget(p model.Process, now clock.Millis) {
@@ -183,7 +183,7 @@
 			continue
 		}
 		r, ok := g.Processes[m.Name]
-		gone, declared := g.Gone[m.Name]
+		gone, declared := g.DeclaredGone[m.Name]
 		// An incarnation is the time at which the run began.
 		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
 			continue
@@ -195,23 +195,23 @@
 	return missing
 }
 
-// Silent reports whether no entry process of the zone has reported lately.
-func (g *Registry) Silent(zone model.Zone, now clock.Millis) bool {
+// ZoneSilent reports whether no entry process of the zone has reported lately.
+func (g *Registry) ZoneSilent(zone model.Zone, now clock.Millis) bool {
 	for _, r := range g.Processes {
-		if r.Zone == zone && now-r.Seen <= SilentAfter {
+		if r.Zone == zone && now-r.LastReportAt <= SilentAfter {
 			return false
 		}
 	}
 	return true
 }
 
-// Settle forgets the fresh instances that are part of the fleet.
-func (g *Registry) Settle(t model.Table) {
-	for id := range g.Fresh {
+// ClearEnrolled forgets the fresh instances that are part of the fleet.
+func (g *Registry) ClearEnrolled(t model.Table) {
+	for id := range g.NewlyAnnounced {
 		_, known := t.Instances[id]
 		_, live := g.Live[id]
 		if known || !live {
-			delete(g.Fresh, id)
+			delete(g.NewlyAnnounced, id)
 		}
 	}
 }
--- a/core/coord/mover/surge.go
+++ b/core/coord/mover/surge.go
@@ -20,13 +20,13 @@
 	gap clock.Millis
 }
 
-// Surges decides by package plan what to do about demand beyond a pool's
+// SurgePlanner decides by package plan what to do about demand beyond a pool's
 // slots, and when to take it back.
-type Surges[S plan.Chooser] struct {
+type SurgePlanner[S plan.Chooser] struct {
 	chooser S
 	weights plan.Weights
-	// On is false to leave surges to the queues.
-	On        bool
+	// Enabled is false to leave surges to the queues.
+	Enabled   bool
 	processes map[model.Process]reported
 	high      map[model.Pool]clock.Millis
 	low       map[model.Pool]clock.Millis
@@ -35,15 +35,15 @@
 	reasons   []string
 }
 
-// NewSurges returns a decision about surges.
-func NewSurges[S plan.Chooser](c S, w plan.Weights, on bool) *Surges[S] {
-	s := &Surges[S]{chooser: c, weights: w, On: on}
+// NewSurgePlanner returns a decision about surges.
+func NewSurgePlanner[S plan.Chooser](c S, w plan.Weights, on bool) *SurgePlanner[S] {
+	s := &SurgePlanner[S]{chooser: c, weights: w, Enabled: on}
 	s.Reset()
 	return s
 }
 
 // Reset forgets everything, for a new term.
-func (s *Surges[S]) Reset() {
+func (s *SurgePlanner[S]) Reset() {
 	s.processes = map[model.Process]reported{}
 	s.high = map[model.Pool]clock.Millis{}
 	s.low = map[model.Pool]clock.Millis{}
@@ -52,7 +52,7 @@
 }
 
 // Report takes the demand that an entry process reported.
-func (s *Surges[S]) Report(p model.Process, pools []model.PoolDemand, now clock.Millis) {
+func (s *SurgePlanner[S]) Report(p model.Process, pools []model.PoolDemand, now clock.Millis) {
 	before, known := s.processes[p]
 	gap := now - before.at
 	if !known || gap <= 0 {
@@ -63,8 +63,8 @@
 
 // Extras returns the instances that pools hold beyond their promise for now,
 // and reports whether they differ from the last call.
-func (s *Surges[S]) Extras(t model.Table, now clock.Millis) (extras []plan.Extra, changed bool) {
-	if !s.On || now-s.at < surgeInterval {
+func (s *SurgePlanner[S]) Extras(t model.Table, now clock.Millis) (extras []plan.Extra, changed bool) {
+	if !s.Enabled || now-s.at < surgeInterval {
 		return s.extras, false
 	}
 	s.at = now
@@ -101,7 +101,7 @@
 }
 
 // demands sums what the entry processes reported lately.
-func (s *Surges[S]) demands(now clock.Millis) []plan.Demand {
+func (s *SurgePlanner[S]) demands(now clock.Millis) []plan.Demand {
 	sums := map[model.Pool]*plan.Demand{}
 	var order []model.Pool
 	for name, r := range s.processes {
@@ -116,11 +116,11 @@
 				sums[d.Pool] = x
 				order = append(order, d.Pool)
 			}
-			x.ServiceMillis = max(x.ServiceMillis, d.Typical)
+			x.ServiceMillis = max(x.ServiceMillis, d.TypicalRunTime)
 			x.Waiting += float64(d.Waiting)
 			// A refused request would have kept a slot busy for its run time.
-			lost := float64(d.Refused) * float64(d.Typical) / float64(r.gap)
-			x.Now += float64(d.Running+d.Waiting) + lost
+			lost := float64(d.Refused) * float64(d.TypicalRunTime) / float64(r.gap)
+			x.NeededSlots += float64(d.Running+d.Waiting) + lost
 		}
 	}
 	out := make([]plan.Demand, 0, len(order))
@@ -132,7 +132,7 @@
 
 // mark notes since when the pools' demand has been high or low, also of pools
 // without any demand.
-func (s *Surges[S]) mark(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
+func (s *SurgePlanner[S]) mark(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
 	byPool := make(map[model.Pool]*plan.Demand, len(demands))
 	for i := range demands {
 		byPool[demands[i].Pool] = &demands[i]
@@ -141,13 +141,13 @@
 		d := byPool[h.Pool]
 		busy := 0.0
 		if d != nil {
-			busy = d.Now
+			busy = d.NeededSlots
 		}
-		since(s.high, h.Pool, busy > float64(h.Have*h.Slots), now)
-		since(s.low, h.Pool, busy < float64(h.Promised*h.Slots*s.weights.LowPercent)/100, now)
+		since(s.high, h.Pool, busy > float64(h.Instances*h.SlotsPerInstance), now)
+		since(s.low, h.Pool, busy < float64(h.Promised*h.SlotsPerInstance*s.weights.LowPercent)/100, now)
 		if d != nil {
 			d.HighSince, d.LowSince = s.high[h.Pool], s.low[h.Pool]
-			d.Queue = float64(h.Have * h.Slots)
+			d.QueueLimit = float64(h.Instances * h.SlotsPerInstance)
 		}
 	}
 }
@@ -167,7 +167,7 @@
 	of := func(p model.Pool) *plan.Holding {
 		h := byPool[p]
 		if h == nil {
-			h = &plan.Holding{Pool: p, Slots: 1}
+			h = &plan.Holding{Pool: p, SlotsPerInstance: 1}
 			byPool[p] = h
 		}
 		return h
@@ -187,12 +187,12 @@
 		if i.Phase == model.PhaseReleasing {
 			p = i.Target
 		}
-		if i.Lost != 0 || i.Phase == model.PhaseRetired || i.Phase == model.PhaseMaintenance {
+		if i.LostSince != 0 || i.Phase == model.PhaseRetired || i.Phase == model.PhaseMaintenance {
 			continue
 		}
 		h := of(p)
-		h.Have++
-		h.Slots = max(h.Slots, i.Slots)
+		h.Instances++
+		h.SlotsPerInstance = max(h.SlotsPerInstance, i.Slots)
 	}
 	out := make([]plan.Holding, 0, len(byPool))
 	for _, h := range byPool {
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -27,7 +27,7 @@
 	// mu guards stamping, so that events enter the ring in the order of their
 	// stamps.
 	mu     sync.Mutex
-	hybrid trail.Hybrid
+	hybrid trail.HybridClock
 	seq    uint64
 	// closed is set once the duty no longer reads the ring.
 	closed bool
@@ -99,7 +99,7 @@
 	r.seq++
 	e.Seq, e.Process = r.seq, r.process
 	e.Stamp = r.hybrid.Next(r.clock.Now())
-	if r.closed || !r.in.Put(input{event: e}) {
+	if r.closed || !r.in.TryPut(input{event: e}) {
 		r.lost++
 	}
 }
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -39,7 +39,7 @@
 )
 
 // Runner is the duty. Its methods may be called from any goroutine.
-type Runner[G Group, M Machines, O sched.Order, J place.Judge] struct {
+type Runner[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
 	// Name is the holder of orders to the platform.
 	Name     string
 	group    G
@@ -62,7 +62,7 @@
 	counts  atomic.Pointer[Counts]
 
 	// What follows is touched by the duty's goroutine alone.
-	board *sched.Board[O, J]
+	board *sched.Scheduler[O, J]
 	term  uint64
 	// next collects what the passes decided; flying is being committed.
 	next   batch
@@ -86,7 +86,7 @@
 }
 
 type beatAnswer struct {
-	reply Reply
+	reply HeartbeatReply
 	err   error
 }
 
@@ -104,7 +104,7 @@
 type input struct {
 	call      *Call
 	answer    chan Answer
-	beat      *sched.Beat
+	beat      *sched.Heartbeat
 	reply     chan beatAnswer
 	leave     *leave
 	committed *batch
@@ -113,7 +113,7 @@
 
 type leave struct {
 	worker jobs.WorkerID
-	life   jobs.Life
+	life   jobs.Incarnation
 }
 
 type acted struct {
@@ -151,24 +151,24 @@
 	waiter waiter
 }
 
-// Parts are what a runner works with.
-type Parts[G Group, M Machines, O sched.Order, J place.Judge] struct {
-	Name     string
-	Group    G
-	Machines M
-	Order    O
-	Judge    J
-	Settings sched.Settings
-	Clock    clock.Clock
-	Notes    func([]sched.Note)
-	Observe  func(clock.Millis)
+// Config are what a runner works with.
+type Config[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
+	Name          string
+	Group         G
+	Machines      M
+	Rank          O
+	Health        J
+	Settings      sched.Settings
+	Clock         clock.Clock
+	Notes         func([]sched.Note)
+	ObserveCommit func(clock.Millis)
 }
 
 // New returns a runner; Run must be called for it to do anything.
-func New[G Group, M Machines, O sched.Order, J place.Judge](p Parts[G, M, O, J]) *Runner[G, M, O, J] {
+func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
-		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Order, judge: p.Judge, set: p.Settings,
-		clock: p.Clock, notes: p.Notes, observe: p.Observe,
+		Name: p.Name, group: p.Group, machines: p.Machines, order: p.Rank, judge: p.Health, set: p.Settings,
+		clock: p.Clock, notes: p.Notes, observe: p.ObserveCommit,
 		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[action](actionRing),
 		done: make(chan struct{}), ended: make(chan struct{}), waiters: map[jobs.WorkerID]waiter{},
 	}
@@ -183,50 +183,50 @@
 func (r *Runner[G, M, O, J]) Refused() int64 { return r.in.Refused() }
 
 // Wake lets the duty look at the leadership at once.
-func (r *Runner[G, M, O, J]) Wake() { r.in.Put(input{}) }
+func (r *Runner[G, M, O, J]) Wake() { r.in.TryPut(input{}) }
 
 // Call hands in a call and waits for its answer. An error stands for
 // AnswerUnavailable or, of KindUnknown, AnswerUnknown.
 func (r *Runner[G, M, O, J]) Call(ctx context.Context, c Call) Answer {
 	reply := make(chan Answer, 1)
-	if !r.in.Put(input{call: &c, answer: reply}) {
+	if !r.in.TryPut(input{call: &c, answer: reply}) {
 		return unavailable("too many calls wait")
 	}
 	select {
 	case a := <-reply:
 		return a
 	case <-ctx.Done():
-		return Answer{Kind: AnswerUnknown, Reason: "no answer in time"}
+		return Answer{Kind: AnswerOutcomeUnknown, Reason: "no answer in time"}
 	case <-r.ended:
-		return Answer{Kind: AnswerUnknown, Reason: "the process stops"}
+		return Answer{Kind: AnswerOutcomeUnknown, Reason: "the process stops"}
 	}
 }
 
 func unavailable(reason string) Answer {
-	return Answer{Kind: AnswerUnavailable, Retry: comeBackMillis, Reason: reason}
+	return Answer{Kind: AnswerUnavailable, RetryAfter: comeBackMillis, Reason: reason}
 }
 
-// Beat hands in a heartbeat and waits for its answer. Errors are of kind
+// Heartbeat hands in a heartbeat and waits for its answer. Errors are of kind
 // not-leader, busy, unknown or stale.
-func (r *Runner[G, M, O, J]) Beat(ctx context.Context, h sched.Beat) (Reply, error) {
+func (r *Runner[G, M, O, J]) Heartbeat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
 	reply := make(chan beatAnswer, 1)
-	h.Received = r.clock.Now()
-	if !r.in.Put(input{beat: &h, reply: reply}) {
-		return Reply{}, failf("heartbeat", KindBusy, "too many inputs wait")
+	h.ReceivedAt = r.clock.Now()
+	if !r.in.TryPut(input{beat: &h, reply: reply}) {
+		return HeartbeatReply{}, failf("heartbeat", KindBusy, "too many inputs wait")
 	}
 	select {
 	case a := <-reply:
 		return a.reply, a.err
 	case <-ctx.Done():
-		return Reply{}, failf("heartbeat", KindUnknown, "%w", ctx.Err())
+		return HeartbeatReply{}, failf("heartbeat", KindUnknown, "%w", ctx.Err())
 	case <-r.ended:
-		return Reply{}, failf("heartbeat", KindNotLeader, "the process stops")
+		return HeartbeatReply{}, failf("heartbeat", KindNotLeader, "the process stops")
 	}
 }
 
 // Leave takes note of a worker that ended by itself.
-func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Life) bool {
-	return r.in.Put(input{leave: &leave{worker: id, life: life}})
+func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Incarnation) bool {
+	return r.in.TryPut(input{leave: &leave{worker: id, life: life}})
 }
 
 // Leads reports whether this process leads and has the state.
@@ -315,7 +315,7 @@
 func (r *Runner[G, M, O, J]) fail(b *batch, err *Error) {
 	for _, a := range b.answers {
 		if err.Kind == KindUnknown || a.uncertain {
-			a.reply <- Answer{Kind: AnswerUnknown, Reason: err.Error()}
+			a.reply <- Answer{Kind: AnswerOutcomeUnknown, Reason: err.Error()}
 		} else {
 			a.reply <- unavailable(err.Error())
 		}
@@ -350,17 +350,17 @@
 		r.notes(p.Notes)
 	}
 	r.flush(now)
-	r.sleep(now, min(p.Wake, now+idleMillis))
+	r.sleep(now, min(p.NextPass, now+idleMillis))
 }
 
 func (r *Runner[G, M, O, J]) count(o jobs.Op) {
 	switch {
 	case o.Kind == jobs.OpAssign:
-		r.n.Starts++
-	case o.Kind == jobs.OpEnd && o.How == jobs.HowLost:
-		r.n.Lost++
-	case o.Kind == jobs.OpEnd && o.How == jobs.HowFailed:
-		r.n.Failed++
+		r.n.RunsStarted++
+	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultLost:
+		r.n.RunsLost++
+	case o.Kind == jobs.OpEnd && o.Result == jobs.ResultFailed:
+		r.n.RunsFailed++
 	}
 }
 
@@ -398,7 +398,7 @@
 func (r *Runner[G, M, O, J]) fly(b *batch) {
 	r.flying = b
 	r.n.Batches++
-	r.n.Ops += int64(len(b.ops))
+	r.n.Operations += int64(len(b.ops))
 	// The ring holds one batch and none is on its way, but for the load of a
 	// later term.
 	r.commits.PutWait(b, r.done)
@@ -411,14 +411,14 @@
 	}
 	for _, o := range b.orders {
 		lease := r.set.LeaseMillis - max(0, o.waiter.received-r.confirmed)
-		if !o.orders.Lease {
+		if !o.orders.LeaseGranted {
 			lease = 0
 		}
-		o.waiter.reply <- beatAnswer{reply: Reply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
+		o.waiter.reply <- beatAnswer{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
 	}
 	for _, a := range b.actions {
-		if !r.actions.Put(action{Action: a, term: r.term, at: now, skew: r.skew}) {
-			r.board.Acted(a, sched.Outcome{Answer: sched.AnswerLater}, now)
+		if !r.actions.TryPut(action{Action: a, term: r.term, at: now, skew: r.skew}) {
+			r.board.HandleOutcome(a, sched.Outcome{Answer: sched.AnswerRefusedForNow}, now)
 		}
 	}
 }
@@ -450,7 +450,7 @@
 		r.observe(now - b.since)
 	}
 	if b.load {
-		r.board = sched.NewBoard(r.set, r.order, r.judge, b.state, now)
+		r.board = sched.New(r.set, r.order, r.judge, b.state, now)
 		return
 	}
 	r.released(b, now)
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -107,18 +107,18 @@
 
 type noMachines struct{}
 
-func (noMachines) Do(context.Context, Order) sched.Outcome {
-	return sched.Outcome{Answer: sched.AnswerLater}
+func (noMachines) Do(context.Context, MachineAction) sched.Outcome {
+	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
-type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]
+type testRunner = Runner[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]
 
 func start(t *testing.T, g *fakeGroup) *testRunner {
 	t.Helper()
 	set := sched.Defaults()
-	set.SurgeMillis = 0
-	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
-		Name: "c1", Group: g, Judge: place.Peers{Least: 3}, Settings: set, Clock: clock.Real(),
+	set.BacklogTargetMillis = 0
+	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
+		Name: "c1", Group: g, Health: place.PeerComparison{MinScore: 3}, Settings: set, Clock: clock.Real(),
 	})
 	go func() { _ = r.Run() }()
 	t.Cleanup(func() {
@@ -130,9 +130,9 @@
 	config := jobs.Config{
 		Version: 3, Document: []byte("{}"), Pools: []jobs.Pool{{Name: "p"}},
 		Queues: []jobs.Queue{
-			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500},
-			{Name: "deep", Host: "h", Prefix: "/q/deep/", Pool: "p", Attempts: 2},
-			{Name: "advised", Host: "a", Prefix: "/", Pool: "p", Advice: jobs.Advice{Valid: 4000}},
+			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500},
+			{Name: "deep", Host: "h", Prefix: "/q/deep/", Pool: "p", MaxAttempts: 2},
+			{Name: "advised", Host: "a", Prefix: "/", Pool: "p", Advice: jobs.AdvicePolicy{TicketValidity: 4000}},
 		},
 	}
 	ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: config})
@@ -162,15 +162,15 @@
 
 func submit(path string) Call {
 	return Call{Kind: CallSubmit, Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
-		{Count: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
+		{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
 	}}}
 }
 
-func beat(r *testRunner, seq int64) (Reply, error) {
+func beat(r *testRunner, seq int64) (HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return r.Beat(ctx, sched.Beat{
-		Worker: "w1", Life: 1, Machine: "m1", Pool: "p", Seq: seq, Room: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
+	return r.Heartbeat(ctx, sched.Heartbeat{
+		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 	})
 }
 
@@ -182,7 +182,7 @@
 	gate := make(chan struct{})
 	g.set(func() { g.gate = gate })
 	answered := make(chan Answer, 1)
-	started := make(chan Reply, 1)
+	started := make(chan HeartbeatReply, 1)
 	go func() { answered <- r.Call(context.Background(), submit("/q/a")) }()
 	go func() {
 		reply, _ := beat(r, 1)
@@ -217,7 +217,7 @@
 		ask(t, r, AnswerDone, submit("/q/a"))
 	}
 	a := ask(t, r, AnswerDone, Call{Kind: CallPending, Host: "h", Path: "/q/"})
-	assert.Equal(t, a.Pending, 1)
+	assert.Equal(t, a.Count, 1)
 }
 
 // TestCalls is the table of what calls are answered.
@@ -225,7 +225,7 @@
 	r := start(t, newFakeGroup())
 	ask(t, r, AnswerDone, submit("/q/a"))
 	gang := submit("/q/b")
-	gang.Job.Steps = []jobs.Step{{Count: 2, Gang: true}}
+	gang.Job.Steps = []jobs.Step{{TaskCount: 2, Gang: true}}
 	for _, c := range []struct {
 		name string
 		call Call
@@ -241,15 +241,15 @@
 		{"a queue with advice", Call{Kind: CallSubmit, Host: "a", Path: "/x", Job: gang.Job}, AnswerDone},
 		{"cancel of no job", Call{Kind: CallCancel, Host: "h", Path: "/q/none"}, AnswerNoJob},
 		{"cancel", Call{Kind: CallCancel, Host: "h", Path: "/q/a"}, AnswerDone},
-		{"state by name", Call{Kind: CallStatus, ID: "a"}, AnswerDone},
-		{"state of no job by name", Call{Kind: CallStatus, ID: "none"}, AnswerNoJob},
-		{"explanation by name", Call{Kind: CallExplain, ID: "a"}, AnswerDone},
-		{"explanation of no job", Call{Kind: CallExplain, ID: "none"}, AnswerNoJob},
+		{"state by name", Call{Kind: CallStatus, JobID: "a"}, AnswerDone},
+		{"state of no job by name", Call{Kind: CallStatus, JobID: "none"}, AnswerNoJob},
+		{"explanation by name", Call{Kind: CallExplain, JobID: "a"}, AnswerDone},
+		{"explanation of no job", Call{Kind: CallExplain, JobID: "none"}, AnswerNoJob},
 		{"list", Call{Kind: CallList}, AnswerDone},
-		{"submission by name", Call{Kind: CallSubmit, Queue: "deep", ID: "named", Job: gang.Job}, AnswerDone},
-		{"submission to no queue", Call{Kind: CallSubmit, Queue: "none", ID: "unknown", Job: gang.Job}, AnswerNoQueue},
+		{"submission by name", Call{Kind: CallSubmit, Queue: "deep", JobID: "named", Job: gang.Job}, AnswerDone},
+		{"submission to no queue", Call{Kind: CallSubmit, Queue: "none", JobID: "unknown", Job: gang.Job}, AnswerNoQueue},
 		{"submission without a name", Call{Kind: CallSubmit, Queue: "deep", Job: gang.Job}, AnswerInvalid},
-		{"unknown wave", Call{Kind: CallWave, Number: 7}, AnswerNoWave},
+		{"unknown wave", Call{Kind: CallGetWave, WaveNumber: 7}, AnswerNoWave},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			assert.Equal(t, r.Call(context.Background(), c.call).Kind, c.want)
@@ -264,9 +264,9 @@
 	r := start(t, newFakeGroup())
 	for _, version := range []uint64{3, 2} {
 		a := ask(t, r, AnswerDone, Call{Kind: CallConfigure, Config: jobs.Config{Version: version, Document: []byte("other")}})
-		assert.Equal(t, a.Version, uint64(3))
+		assert.Equal(t, a.ConfigVersion, uint64(3))
 	}
-	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallConfig}).Document), "{}")
+	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallGetConfig}).ConfigDocument), "{}")
 }
 
 // TestAbsenceIsConfirmed guards against a leader that was replaced and says
@@ -294,10 +294,10 @@
 	r := start(t, g)
 	ask(t, r, AnswerDone, submit("/q/kept"))
 	g.set(func() { g.fail = errUnknown })
-	assert.Equal(t, r.Call(context.Background(), submit("/q/lost")).Kind, AnswerUnknown)
+	assert.Equal(t, r.Call(context.Background(), submit("/q/lost")).Kind, AnswerOutcomeUnknown)
 	g.set(func() { g.fail = errNotLeader })
 	a := ask(t, r, AnswerUnavailable, submit("/q/refused"))
-	assert.Assert(t, a.Retry > 0)
+	assert.Assert(t, a.RetryAfter > 0)
 	g.set(func() { g.fail = nil })
 	ask(t, r, AnswerDone, Call{Kind: CallStatus, Host: "h", Path: "/q/kept"})
 	ask(t, r, AnswerNoJob, Call{Kind: CallStatus, Host: "h", Path: "/q/refused"})
@@ -307,8 +307,8 @@
 // which its clock stood still, and grants leases on an old confirmation.
 func TestLeaseAfterSuspension(t *testing.T) {
 	fake := clock.NewFake(100_000)
-	r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
-		Group: newFakeGroup(), Judge: place.Peers{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
+		Group: newFakeGroup(), Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 	})
 	r.confirmed = 99_900
 	r.notePause()
@@ -336,8 +336,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			fake, g := clock.NewFake(began), newFakeGroup()
-			r := New(Parts[*fakeGroup, noMachines, sched.EarliestObjective, place.Peers]{
-				Group: g, Judge: place.Peers{Least: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
+			r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
+				Group: g, Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 			})
 			a := action{term: g.term, at: began, skew: fake.Clock().Skew()}
 			c.hold(fake, g)
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/take.go
@@ -32,26 +32,26 @@
 		r.n.Calls++
 		r.takeCall(in.call, in.answer, now)
 	case in.beat != nil:
-		r.n.Beats++
+		r.n.Heartbeats++
 		r.takeBeat(in.beat, in.reply, now)
 	case in.leave != nil:
 		if r.board != nil {
-			r.board.Leave(in.leave.worker, in.leave.life, now)
+			r.board.RemoveWorker(in.leave.worker, in.leave.life, now)
 		}
 	case in.acted != nil:
 		if r.board != nil && in.acted.action.term == r.term {
-			r.board.Acted(in.acted.action.Action, in.acted.outcome, now)
+			r.board.HandleOutcome(in.acted.action.Action, in.acted.outcome, now)
 		}
 	}
 }
 
-func (r *Runner[G, M, O, J]) takeBeat(h *sched.Beat, reply chan beatAnswer, now clock.Millis) {
+func (r *Runner[G, M, O, J]) takeBeat(h *sched.Heartbeat, reply chan beatAnswer, now clock.Millis) {
 	if r.board == nil {
 		reply <- beatAnswer{err: failf("heartbeat", KindNotLeader, "this process does not lead")}
 		return
 	}
-	if !r.board.Beat(*h, now) {
-		r.n.StaleBeats++
+	if !r.board.Heartbeat(*h, now) {
+		r.n.StaleHeartbeats++
 		reply <- beatAnswer{err: failf("heartbeat", KindStale, "it is older than one that was taken")}
 		return
 	}
@@ -59,7 +59,7 @@
 		// The worker gave the earlier heartbeat up.
 		old.reply <- beatAnswer{err: failf("heartbeat", KindStale, "a later heartbeat came")}
 	}
-	r.waiters[h.Worker] = waiter{reply: reply, received: h.Received}
+	r.waiters[h.Worker] = waiter{reply: reply, received: h.ReceivedAt}
 }
 
 func (r *Runner[G, M, O, J]) takeCall(c *Call, reply chan Answer, now clock.Millis) {
@@ -67,16 +67,16 @@
 		reply <- unavailable("no leader is known here")
 		return
 	}
-	ops := r.board.Decided()
+	ops := r.board.PendingOps()
 	a := r.handle(c, now)
-	uncertain := c.Kind == CallSubmit && r.board.Decided() == ops
+	uncertain := c.Kind == CallSubmit && r.board.PendingOps() == ops
 	r.next.answers = append(r.next.answers, callAnswer{answer: a, reply: reply, uncertain: uncertain})
 	switch a.Kind {
 	case AnswerNoJob, AnswerNoQueue, AnswerNoWave:
 		// Only a leader that is confirmed may say that something does not exist.
 		r.next.confirm = true
 	}
-	if c.Kind == CallConfig || c.Kind == CallWave {
+	if c.Kind == CallGetConfig || c.Kind == CallGetWave {
 		r.next.confirm = true
 	}
 }
@@ -87,21 +87,21 @@
 	switch c.Kind {
 	case CallConfigure:
 		r.board.Configure(c.Config, now)
-		return Answer{Version: s.Config.Version}
-	case CallConfig:
+		return Answer{ConfigVersion: s.Config.Version}
+	case CallGetConfig:
 		if s.Config.Version == 0 {
 			return unavailable("no configuration is in force")
 		}
-		return Answer{Document: s.Config.Document, Version: s.Config.Version}
-	case CallDeclare:
-		r.board.Declare(c.Wave, now)
+		return Answer{ConfigDocument: s.Config.Document, ConfigVersion: s.Config.Version}
+	case CallDeclareWave:
+		r.board.DeclareWave(c.Wave, now)
 		return Answer{}
-	case CallWave:
-		w := s.Waves[c.Number]
+	case CallGetWave:
+		w := s.Waves[c.WaveNumber]
 		if w == nil {
 			return Answer{Kind: AnswerNoWave, Reason: "no such wave"}
 		}
-		return Answer{Completed: w.Completed()}
+		return Answer{WaveCompleted: w.Completed()}
 	}
 	if s.Config.Version == 0 {
 		return unavailable("no configuration is in force")
@@ -111,9 +111,9 @@
 		return Answer{}
 	case CallList:
 		lines, total := r.board.List(listMost)
-		return Answer{Jobs: lines, Pending: total}
+		return Answer{Jobs: lines, Count: total}
 	}
-	if c.Queue != "" || c.ID != "" {
+	if c.Queue != "" || c.JobID != "" {
 		return r.handleNamed(c, now)
 	}
 	q, id, ok := resolve(&s.Config, c.Host, c.Path)
@@ -127,7 +127,7 @@
 // that is known may have been removed.
 func (r *Runner[G, M, O, J]) handleNamed(c *Call, now clock.Millis) Answer {
 	name := c.Queue
-	rec := r.board.State.Jobs[c.ID]
+	rec := r.board.State.Jobs[c.JobID]
 	if rec != nil && name == "" {
 		name = rec.Queue
 	}
@@ -138,14 +138,14 @@
 	case !ok && rec == nil:
 		return Answer{Kind: AnswerNoQueue, Reason: "no queue has this name"}
 	}
-	return r.handleJob(c, &q, c.ID, now)
+	return r.handleJob(c, &q, c.JobID, now)
 }
 
 func (r *Runner[G, M, O, J]) handleJob(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
 	rec := r.board.State.Jobs[id]
 	switch {
 	case c.Kind == CallPending:
-		return Answer{Pending: r.board.Pending(q.Name)}
+		return Answer{Count: r.board.PendingJobs(q.Name)}
 	case id == "":
 		return Answer{Kind: AnswerInvalid, Reason: "the path names no job"}
 	case c.Kind == CallSubmit:
@@ -164,7 +164,7 @@
 func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
 	j := c.Job
 	j.ID, j.Queue, j.Pool = id, q.Name, q.Pool
-	j.Priority, j.Attempts, j.Target, j.StretchPermille = q.Priority, q.Attempts, q.Target, q.StretchPermille
+	j.Priority, j.MaxAttempts, j.Target, j.StretchPermille = q.Priority, q.MaxAttempts, q.Target, q.StretchPermille
 	r.board.Submit(j, now)
 	return Answer{Status: r.board.State.Jobs[id].Status}
 }
@@ -202,12 +202,12 @@
 }
 
 func (r *Runner[G, M, O, J]) act(a action) sched.Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.Takes).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.ExpectedDuration).Duration())
 	defer cancel()
 	if !r.may(a) {
-		return sched.Outcome{Answer: sched.AnswerLater}
+		return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 	}
-	return r.machines.Do(ctx, Order{Action: a.Action, Holder: r.Name, Token: a.term, May: func() bool { return r.may(a) }})
+	return r.machines.Do(ctx, MachineAction{Action: a.Action, Holder: r.Name, Token: a.term, MaySend: func() bool { return r.may(a) }})
 }
 
 // may reports whether an action may be sent: this process still leads in the
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -59,19 +59,19 @@
 // Machines is the platform's interface to machines.
 type Machines interface {
 	// Do carries an order out.
-	Do(ctx context.Context, o Order) sched.Outcome
+	Do(ctx context.Context, o MachineAction) sched.Outcome
 }
 
-// Order is an action of the platform in the name of a leader.
-type Order struct {
+// MachineAction is an action of the platform in the name of a leader.
+type MachineAction struct {
 	sched.Action
 	Holder string
 	// Token is the leader's fencing token.
 	Token uint64
-	// May reports whether the order may still be sent. It has to be asked right
+	// MaySend reports whether the order may still be sent. It has to be asked right
 	// before the order is written: a process may be held up at any point before,
 	// for longer than it takes another one to lead and to give orders.
-	May func() bool
+	MaySend func() bool
 }
 
 // CallKind tells calls apart.
@@ -93,10 +93,10 @@
 	CallList
 	// CallConfigure puts Config in force, and CallConfig returns what is.
 	CallConfigure
-	CallConfig
-	// CallDeclare declares Wave, and CallWave asks for wave Number.
-	CallDeclare
-	CallWave
+	CallGetConfig
+	// CallDeclareWave declares Wave, and CallWave asks for wave Number.
+	CallDeclareWave
+	CallGetWave
 )
 
 // Call is a question or an order of a submitter or an operator.
@@ -108,12 +108,12 @@
 	Path string
 	// Queue and ID name the queue and the job in place of them; a job that is
 	// known needs no queue.
-	Queue  jobs.QueueName
-	ID     jobs.ID
-	Job    jobs.Job
-	Config jobs.Config
-	Wave   jobs.Wave
-	Number int
+	Queue      jobs.QueueName
+	JobID      jobs.ID
+	Job        jobs.Job
+	Config     jobs.Config
+	Wave       jobs.Wave
+	WaveNumber int
 }
 
 // AnswerKind tells answers apart.
@@ -131,8 +131,8 @@
 	// AnswerUnavailable: nothing was done and nothing will be; Retry says when
 	// to come back.
 	AnswerUnavailable
-	// AnswerUnknown: it may be done.
-	AnswerUnknown
+	// AnswerOutcomeUnknown: it may be done.
+	AnswerOutcomeUnknown
 )
 
 var answerNames = [...]string{
@@ -151,24 +151,24 @@
 type Answer struct {
 	Kind   AnswerKind
 	Status jobs.Status
-	// Pending answers CallPending, and CallList with the number of all jobs of
+	// Count answers CallPending, and CallList with the number of all jobs of
 	// which Jobs may be a part.
-	Pending int
+	Count int
 	// Report answers CallExplain, and Jobs CallList.
 	Report *sched.JobReport
-	Jobs   []sched.JobLine
-	// Document and Version answer CallConfig.
-	Document []byte
-	Version  uint64
-	// Completed answers CallWave.
-	Completed bool
-	// Retry is when an unavailable caller may come back.
-	Retry  clock.Millis
-	Reason string
+	Jobs   []sched.JobSummary
+	// ConfigDocument and Version answer CallConfig.
+	ConfigDocument []byte
+	ConfigVersion  uint64
+	// WaveCompleted answers CallWave.
+	WaveCompleted bool
+	// RetryAfter is when an unavailable caller may come back.
+	RetryAfter clock.Millis
+	Reason     string
 }
 
-// Reply is the answer to a heartbeat.
-type Reply struct {
+// HeartbeatReply is the answer to a heartbeat.
+type HeartbeatReply struct {
 	Orders sched.Orders
 	// Lease is the time, from the sending of the heartbeat, during which the
 	// worker may run tasks; 0 for none.
@@ -179,15 +179,15 @@
 
 // Counts are counters since the start; they only grow.
 type Counts struct {
-	Beats      int64
-	StaleBeats int64
-	Calls      int64
-	Batches    int64
-	Ops        int64
+	Heartbeats      int64
+	StaleHeartbeats int64
+	Calls           int64
+	Batches         int64
+	Operations      int64
 	// Resets counts the times that uncommitted decisions were dropped.
 	Resets int64
-	// Starts, Lost and Failed count runs.
-	Starts int64
-	Lost   int64
-	Failed int64
+	// RunsStarted, Lost and Failed count runs.
+	RunsStarted int64
+	RunsLost    int64
+	RunsFailed  int64
 }
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -25,7 +25,7 @@
 		sum, least, most := 0, total, 0
 		for p := range seen {
 			rank, count := Rank(all, p)
-			s := Limit{InFlight: total}.Divide(rank, count).InFlight
+			s := Limit{MaxInFlight: total}.Divide(rank, count).MaxInFlight
 			sum += s
 			least, most = min(least, s), max(most, s)
 		}
@@ -40,18 +40,18 @@
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
-	assert.Equal(t, LimitOf(c, slots), Limit{InFlight: 40, Queue: 3, RetryPercent: 7, Weight: 40})
+	assert.Equal(t, LimitOf(c, slots), Limit{MaxInFlight: 40, MaxQueued: 3, RetryPercent: 7, Weight: 40})
 	c.Concurrency = 5
-	assert.Equal(t, LimitOf(c, slots).InFlight, 5)
+	assert.Equal(t, LimitOf(c, slots).MaxInFlight, 5)
 }
 
 // world runs a gate against a pool with a number of slots and keeps its own
 // account of who runs and waits.
 type world struct {
-	g       *Gate[Fair, int]
+	g       *Controller[WeightedFair, int]
 	slots   int
 	running map[model.Customer]int
-	lines   []*Line[int]
+	lines   []*Queue[int]
 	waiting map[int]*Waiter[int]
 	limits  map[model.Customer]Limit
 	next    int
@@ -71,14 +71,14 @@
 		wt, late := w.g.Next(w.now, "p", nil)
 		w.drop(late)
 		if wt == nil {
-			assert.Assert(t, !w.g.Waits("p"), "a waiter that may run was not chosen")
+			assert.Assert(t, !w.g.HasRunnable("p"), "a waiter that may run was not chosen")
 			return
 		}
 		assert.Assert(t, wt.Deadline > w.now, "an expired waiter was run")
 		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
 		delete(w.waiting, wt.Ref)
-		w.lines = append(w.lines, wt.Line())
-		w.running[wt.Line().Account.Customer]++
+		w.lines = append(w.lines, wt.Queue())
+		w.running[wt.Queue().Customer.Name]++
 	}
 }
 
@@ -87,12 +87,12 @@
 func TestGateKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
-			g: New[Fair, int](Fair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
+			g: New[WeightedFair, int](WeightedFair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
 			running: map[model.Customer]int{}, waiting: map[int]*Waiter[int]{}, limits: map[model.Customer]Limit{},
 		}
 		pools := []model.PoolShare{{Pool: "p"}}
 		for i := range 3 {
-			l := Limit{InFlight: rapid.IntRange(0, 4).Draw(t, "share"), Queue: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
+			l := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), MaxQueued: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
 			c := model.Customer(fmt.Sprint(i))
 			w.limits[c] = l
 			w.g.SetCustomer(c, l, pools)
@@ -100,19 +100,19 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"ask": func(t *rapid.T) {
 				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
-				l, why := w.g.Line(c, "p")
+				l, why := w.g.Queue(c, "p")
 				if why != ReasonNone {
 					assert.Equal(t, why, ReasonShare)
 					return
 				}
-				if l.CanRun() && l.Len() == 0 && !w.g.Waits("p") && w.inFlight() < w.slots {
+				if l.CanRun() && l.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
 					w.g.Start(l)
 					w.lines = append(w.lines, l)
 					w.running[c]++
 					return
 				}
 				w.next++
-				wt, why := w.g.Join(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
+				wt, why := w.g.Enqueue(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
 				if why == ReasonNone {
 					w.waiting[w.next] = wt
 				}
@@ -124,13 +124,13 @@
 				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
 				l := w.lines[i]
 				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
-				w.running[l.Account.Customer]--
+				w.running[l.Customer.Name]--
 				w.g.End(l, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
 				w.pump(t)
 			},
 			"cancel": func(t *rapid.T) {
 				for id, wt := range w.waiting {
-					wt.Line().Leave(wt)
+					wt.Queue().Remove(wt)
 					delete(w.waiting, id)
 					return
 				}
@@ -141,10 +141,10 @@
 			},
 			"": func(t *rapid.T) {
 				waits := 0
-				w.g.Each(func(a *Account[int]) {
-					assert.Equal(t, a.Running, w.running[a.Customer])
-					assert.Assert(t, a.Running <= w.limits[a.Customer].InFlight)
-					assert.Assert(t, a.Waiting <= w.limits[a.Customer].Queue)
+				w.g.EachCustomer(func(a *CustomerState[int]) {
+					assert.Equal(t, a.Running, w.running[a.Name])
+					assert.Assert(t, a.Running <= w.limits[a.Name].MaxInFlight)
+					assert.Assert(t, a.Waiting <= w.limits[a.Name].MaxQueued)
 					waits += a.Waiting
 				})
 				assert.Equal(t, waits, len(w.waiting))
@@ -158,12 +158,12 @@
 func share[P Picker](picker P, weightA, weightB, n int) (a, b int) {
 	g := New[P, model.Customer](picker)
 	pools := []model.PoolShare{{Pool: "p"}}
-	g.SetCustomer("a", Limit{InFlight: 10, Queue: 1000, Weight: weightA}, pools)
-	g.SetCustomer("b", Limit{InFlight: 10, Queue: 1000, Weight: weightB}, pools)
+	g.SetCustomer("a", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightA}, pools)
+	g.SetCustomer("b", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightB}, pools)
 	fill := func(c model.Customer, want int) {
-		l, _ := g.Line(c, "p")
+		l, _ := g.Queue(c, "p")
 		for l.Len() < want {
-			if _, why := g.Join(0, 1<<40, l, 1, c); why != ReasonNone {
+			if _, why := g.Enqueue(0, 1<<40, l, 1, c); why != ReasonNone {
 				panic(why)
 			}
 		}
@@ -172,7 +172,7 @@
 		fill("a", 500)
 		fill("b", 5)
 		w, _ := g.Next(1, "p", nil)
-		g.End(w.Line(), -1)
+		g.End(w.Queue(), -1)
 		if w.Ref == "a" {
 			a++
 		} else {
@@ -186,28 +186,28 @@
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
-		_, b := share(Fair{}, wa, wb, 1000)
+		_, b := share(WeightedFair{}, wa, wb, 1000)
 		want := 1000 * wb / (wa + wb)
 		assert.Assert(t, b >= want-2 && b <= want+2, "b got %d of 1000, want %d", b, want)
 	})
-	_, b := share(Arrival{}, 1, 1, 400)
+	_, b := share(FIFO{}, 1, 1, 400)
 	assert.Assert(t, b < 10, "the baseline is expected to starve b, which got %d", b)
 }
 
 // Guards against waiting for something that cannot come in time, and against
 // refusing what can.
 func TestDeadlineDecidesAtTheDoor(t *testing.T) {
-	g := New[Fair, int](Fair{})
-	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Line("a", "p")
+	g := New[WeightedFair, int](WeightedFair{})
+	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	l, _ := g.Queue("a", "p")
 	g.Start(l)
 	g.End(l, 100)
 	// Two slots at 100 ms: a place in the queue every 50 ms, and an eighth more.
 	for k := range 4 {
 		need := clock.Millis(50*(k+1)*9/8 + 100)
-		_, why := g.Join(0, need, l, 2, k)
+		_, why := g.Enqueue(0, need, l, 2, k)
 		assert.Equal(t, why, ReasonDeadline)
-		_, why = g.Join(0, need+1, l, 2, k)
+		_, why = g.Enqueue(0, need+1, l, 2, k)
 		assert.Equal(t, why, ReasonNone)
 	}
 	// At 60 ms the first waiter, due at 157, can no longer end in time.
@@ -218,9 +218,9 @@
 
 // Guards against a few long requests that keep all short ones from waiting.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
-	g := New[Fair, int](Fair{})
-	g.SetCustomer("a", Limit{InFlight: 4, Queue: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Line("a", "p")
+	g := New[WeightedFair, int](WeightedFair{})
+	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
+	l, _ := g.Queue("a", "p")
 	for k := range 1000 {
 		g.Start(l)
 		elapsed := clock.Millis(10)
@@ -230,7 +230,7 @@
 		g.End(l, elapsed)
 	}
 	assert.Assert(t, l.hall.needs() < 50, "%d", l.hall.needs())
-	_, why := g.Join(0, 200, l, 32, 1)
+	_, why := g.Enqueue(0, 200, l, 32, 1)
 	assert.Equal(t, why, ReasonNone)
 }
 
@@ -238,15 +238,15 @@
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
-		g := New[Fair, int](Fair{})
-		g.SetCustomer("a", Limit{InFlight: 1, RetryPercent: percent}, nil)
-		a := g.Account("a")
+		g := New[WeightedFair, int](WeightedFair{})
+		g.SetCustomer("a", Limit{MaxInFlight: 1, RetryPercent: percent}, nil)
+		a := g.Customer("a")
 		tries, retries := 0, 0
 		for _, retry := range rapid.SliceOf(rapid.Bool()).Draw(t, "retry") {
 			if !retry {
 				tries++
-				a.Credit()
-			} else if a.Retry() {
+				a.AddRetryCredit()
+			} else if a.TakeRetry() {
 				retries++
 			}
 			assert.Assert(t, float64(retries) <= 1+float64(tries*percent)/100)
@@ -257,19 +257,19 @@
 
 // Guards against forgetting what a removed contract still has in flight.
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
-	g := New[Fair, int](Fair{})
+	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
-	g.SetCustomer("a", Limit{InFlight: 2, Queue: 2}, pools)
-	l, _ := g.Line("a", "p")
+	g.SetCustomer("a", Limit{MaxInFlight: 2, MaxQueued: 2}, pools)
+	l, _ := g.Queue("a", "p")
 	g.Start(l)
-	_, why := g.Join(0, 100, l, 1, 7)
+	_, why := g.Enqueue(0, 100, l, 1, 7)
 	assert.Equal(t, why, ReasonNone)
 	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
-	_, why = g.Line("a", "p")
+	_, why = g.Queue("a", "p")
 	assert.Equal(t, why, ReasonContract)
-	g.SetCustomer("a", Limit{InFlight: 2}, pools)
-	assert.Equal(t, g.Account("a").Running, 1)
+	g.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
+	assert.Equal(t, g.Customer("a").Running, 1)
 	g.RemoveCustomer("a")
 	g.End(l, 1)
-	assert.Assert(t, g.Account("a") == nil)
+	assert.Assert(t, g.Customer("a") == nil)
 }
--- a/core/state/admit/gate.go
+++ b/core/state/admit/gate.go
@@ -58,41 +58,41 @@
 	waitMargin = 0.125
 )
 
-// Gate decides who runs. R is the caller's reference for a waiting request.
+// Controller decides who runs. R is the caller's reference for a waiting request.
 // It is not safe for use by several goroutines.
-type Gate[P Picker, R any] struct {
+type Controller[P Picker, R any] struct {
 	picker    P
-	customers map[model.Customer]*Account[R]
+	customers map[model.Customer]*CustomerState[R]
 	pools     map[model.Pool]*hall[R]
 	arrivals  uint64
 	// turns and lines are scratch space for one choice.
-	turns []*Turn
-	lines []*Line[R]
+	turns []*QueueInfo
+	lines []*Queue[R]
 }
 
-// Account is the state of one customer in this process.
-type Account[R any] struct {
-	Customer model.Customer
-	Limit    Limit
+// CustomerState is the state of one customer in this process.
+type CustomerState[R any] struct {
+	Name  model.Customer
+	Limit Limit
 	// Running is the number of requests in flight. It stays at or below
 	// Limit.InFlight except after a contract was reduced.
 	Running int
 	// Waiting is the number of queued requests over all pools.
 	Waiting int
-	// Retries is the number of retries that may be made now; at most
+	// RetryTokens is the number of retries that may be made now; at most
 	// retryBurst.
-	Retries float64
+	RetryTokens float64
 	// removed says that the contract ended while requests were in flight. The
 	// account stays until they end, so that a new contract of the same name
 	// counts them.
 	removed bool
-	lines   map[model.Pool]*Line[R]
+	lines   map[model.Pool]*Queue[R]
 }
 
 // hall holds the lines of one pool.
 type hall[R any] struct {
 	// active lists the lines that have waiters.
-	active []*Line[R]
+	active []*Queue[R]
 	// pass is the virtual time of the last start.
 	pass float64
 	// typical is the smoothed run time in milliseconds; 0 without a sample.
@@ -124,22 +124,22 @@
 }
 
 // New returns a gate without customers.
-func New[P Picker, R any](picker P) *Gate[P, R] {
-	return &Gate[P, R]{
+func New[P Picker, R any](picker P) *Controller[P, R] {
+	return &Controller[P, R]{
 		picker:    picker,
-		customers: map[model.Customer]*Account[R]{},
+		customers: map[model.Customer]*CustomerState[R]{},
 		pools:     map[model.Pool]*hall[R]{},
 	}
 }
 
 // SetCustomer puts the share of a customer in force. Lines of pools that the
 // contract no longer covers are removed, and their waiters returned.
-func (g *Gate[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
+func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
-		a = &Account[R]{Customer: name, lines: map[model.Pool]*Line[R]{}}
+		a = &CustomerState[R]{Name: name, lines: map[model.Pool]*Queue[R]{}}
 		if share.RetryPercent > 0 {
-			a.Retries = 1
+			a.RetryTokens = 1
 		}
 		g.customers[name] = a
 	}
@@ -150,7 +150,7 @@
 	for _, p := range pools {
 		covered[p.Pool] = true
 		if a.lines[p.Pool] == nil {
-			a.lines[p.Pool] = &Line[R]{Account: a, Pool: p.Pool, hall: g.hall(p.Pool)}
+			a.lines[p.Pool] = &Queue[R]{Customer: a, Pool: p.Pool, hall: g.hall(p.Pool)}
 		}
 		a.lines[p.Pool].turn.Weight = share.Weight
 	}
@@ -165,7 +165,7 @@
 }
 
 // RemoveCustomer forgets a customer and returns its waiters.
-func (g *Gate[P, R]) RemoveCustomer(name model.Customer) []R {
+func (g *Controller[P, R]) RemoveCustomer(name model.Customer) []R {
 	a := g.customers[name]
 	if a == nil {
 		return nil
@@ -180,13 +180,13 @@
 }
 
 // forget drops an account whose contract ended and that has nothing in flight.
-func (g *Gate[P, R]) forget(a *Account[R]) {
+func (g *Controller[P, R]) forget(a *CustomerState[R]) {
 	if a.removed && a.Running == 0 {
-		delete(g.customers, a.Customer)
+		delete(g.customers, a.Name)
 	}
 }
 
-func (g *Gate[P, R]) hall(p model.Pool) *hall[R] {
+func (g *Controller[P, R]) hall(p model.Pool) *hall[R] {
 	h := g.pools[p]
 	if h == nil {
 		h = &hall[R]{}
@@ -195,9 +195,9 @@
 	return h
 }
 
-// Line finds the line of a customer in a pool, or the reason why the request
+// Queue finds the line of a customer in a pool, or the reason why the request
 // can never run in this process.
-func (g *Gate[P, R]) Line(c model.Customer, p model.Pool) (*Line[R], Reason) {
+func (g *Controller[P, R]) Queue(c model.Customer, p model.Pool) (*Queue[R], Reason) {
 	a := g.customers[c]
 	if a == nil || a.removed {
 		return nil, ReasonContract
@@ -206,17 +206,17 @@
 	if l == nil {
 		return nil, ReasonPool
 	}
-	if a.Limit.InFlight == 0 {
+	if a.Limit.MaxInFlight == 0 {
 		return nil, ReasonShare
 	}
 	return l, ReasonNone
 }
 
-// Account returns the state of a customer; nil when it is not known.
-func (g *Gate[P, R]) Account(c model.Customer) *Account[R] { return g.customers[c] }
+// Customer returns the state of a customer; nil when it is not known.
+func (g *Controller[P, R]) Customer(c model.Customer) *CustomerState[R] { return g.customers[c] }
 
-// Each calls f for every customer.
-func (g *Gate[P, R]) Each(f func(*Account[R])) {
+// EachCustomer calls f for every customer.
+func (g *Controller[P, R]) EachCustomer(f func(*CustomerState[R])) {
 	for _, a := range g.customers {
 		f(a)
 	}
@@ -224,7 +224,7 @@
 
 // EachWaiting calls f for every pool with the number of the customer's queued
 // requests, where there are any.
-func (a *Account[R]) EachWaiting(f func(p model.Pool, n int)) {
+func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
 	for p, l := range a.lines {
 		if l.length > 0 {
 			f(p, l.length)
@@ -233,36 +233,36 @@
 }
 
 // Start counts a request that runs without having waited.
-func (g *Gate[P, R]) Start(l *Line[R]) {
-	l.Account.Running++
+func (g *Controller[P, R]) Start(l *Queue[R]) {
+	l.Customer.Running++
 	l.start()
 }
 
 // End counts the end of a request. A run time below 0 is not learnt from.
-func (g *Gate[P, R]) End(l *Line[R], elapsed clock.Millis) {
-	l.Account.Running--
-	g.forget(l.Account)
+func (g *Controller[P, R]) End(l *Queue[R], elapsed clock.Millis) {
+	l.Customer.Running--
+	g.forget(l.Customer)
 	if elapsed >= 0 {
 		l.hall.learn(float64(elapsed))
 	}
 }
 
-// Typical is the smoothed run time of a pool; 0 when it is not known.
-func (g *Gate[P, R]) Typical(p model.Pool) clock.Millis {
+// TypicalRunTime is the smoothed run time of a pool; 0 when it is not known.
+func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
 	if h := g.pools[p]; h != nil {
 		return clock.Millis(h.typical)
 	}
 	return 0
 }
 
-// Join queues a request. slots is the number of requests that the pool runs
+// Enqueue queues a request. slots is the number of requests that the pool runs
 // at once. The request is refused when the customer's queue is full, or when
 // the expected wait and run time reach beyond the deadline.
-func (g *Gate[P, R]) Join(now, deadline clock.Millis, l *Line[R], slots int, ref R) (*Waiter[R], Reason) {
-	if l.Account.Waiting >= l.Account.Limit.Queue {
+func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
+	if l.Customer.Waiting >= l.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
 	}
-	wait := l.Wait(slots)
+	wait := l.EstimateWait(slots)
 	wait += clock.Millis(float64(wait) * waitMargin)
 	if now+wait+l.hall.needs() >= deadline {
 		return nil, ReasonDeadline
@@ -273,8 +273,8 @@
 	return w, ReasonNone
 }
 
-// Waits reports whether a pool has a waiter whose customer may run now.
-func (g *Gate[P, R]) Waits(p model.Pool) bool {
+// HasRunnable reports whether a pool has a waiter whose customer may run now.
+func (g *Controller[P, R]) HasRunnable(p model.Pool) bool {
 	h := g.pools[p]
 	if h == nil {
 		return false
@@ -287,15 +287,15 @@
 	return false
 }
 
-// Runnable is the number of waiters of a pool whose customers may run now.
-func (g *Gate[P, R]) Runnable(p model.Pool) int {
+// RunnableCount is the number of waiters of a pool whose customers may run now.
+func (g *Controller[P, R]) RunnableCount(p model.Pool) int {
 	h := g.pools[p]
 	if h == nil {
 		return 0
 	}
 	n := 0
 	for _, l := range h.active {
-		n += max(0, min(l.length, l.Account.Limit.InFlight-l.Account.Running))
+		n += max(0, min(l.length, l.Customer.Limit.MaxInFlight-l.Customer.Running))
 	}
 	return n
 }
@@ -303,7 +303,7 @@
 // Next takes the waiter out of a pool that runs next, and counts it as
 // running. Waiters that can no longer end in time are appended to late. It
 // returns nil when none may run.
-func (g *Gate[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
+func (g *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
 	h := g.pools[p]
 	if h == nil {
 		return nil, late
@@ -322,13 +322,13 @@
 	l := g.lines[g.picker.Pick(g.turns)]
 	w := l.first
 	l.remove(w)
-	l.Account.Running++
+	l.Customer.Running++
 	l.start()
 	return w, late
 }
 
 // Expire removes the waiters whose deadline passed and appends them to late.
-func (g *Gate[P, R]) Expire(now clock.Millis, late []R) []R {
+func (g *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
 	for _, h := range g.pools {
 		for i := len(h.active) - 1; i >= 0; i-- {
 			late = h.active[i].expire(now, late)
@@ -338,7 +338,7 @@
 }
 
 // Clear removes all waiters of a pool and appends them to out.
-func (g *Gate[P, R]) Clear(p model.Pool, out []R) []R {
+func (g *Controller[P, R]) Clear(p model.Pool, out []R) []R {
 	h := g.pools[p]
 	if h == nil {
 		return out
@@ -349,8 +349,8 @@
 	return out
 }
 
-// Waiting appends the pools that have waiters to buf.
-func (g *Gate[P, R]) Waiting(buf []model.Pool) []model.Pool {
+// WaitingPools appends the pools that have waiters to buf.
+func (g *Controller[P, R]) WaitingPools(buf []model.Pool) []model.Pool {
 	for p, h := range g.pools {
 		if len(h.active) > 0 {
 			buf = append(buf, p)
--- a/core/state/admit/line.go
+++ b/core/state/admit/line.go
@@ -5,15 +5,15 @@
 	"camphorridge/core/state/model"
 )
 
-// Line is the queue of one customer in one pool, first come, first served.
-type Line[R any] struct {
-	Account *Account[R]
-	Pool    model.Pool
-	hall    *hall[R]
-	turn    Turn
-	first   *Waiter[R]
-	last    *Waiter[R]
-	length  int
+// Queue is the queue of one customer in one pool, first come, first served.
+type Queue[R any] struct {
+	Customer *CustomerState[R]
+	Pool     model.Pool
+	hall     *hall[R]
+	turn     QueueInfo
+	first    *Waiter[R]
+	last     *Waiter[R]
+	length   int
 	// place is the index in hall.active while length is above 0.
 	place int
 }
@@ -25,23 +25,23 @@
 	Arrived  clock.Millis
 	// number orders the waiters of all lines by arrival.
 	number     uint64
-	line       *Line[R]
+	line       *Queue[R]
 	prev, next *Waiter[R]
 }
 
-// Line returns the line that the waiter stood in.
-func (w *Waiter[R]) Line() *Line[R] { return w.line }
+// Queue returns the line that the waiter stood in.
+func (w *Waiter[R]) Queue() *Queue[R] { return w.line }
 
 // CanRun reports whether the customer is below its share.
-func (l *Line[R]) CanRun() bool { return l.Account.Running < l.Account.Limit.InFlight }
+func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.MaxInFlight }
 
 // Len is the number of waiters.
-func (l *Line[R]) Len() int { return l.length }
+func (l *Queue[R]) Len() int { return l.length }
 
-// Wait estimates how long a new waiter of the line waits when the pool runs
+// EstimateWait estimates how long a new waiter of the line waits when the pool runs
 // slots requests at once. The pool's rate is divided between the waiting
 // customers by weight, and a customer's rate is bounded by its share.
-func (l *Line[R]) Wait(slots int) clock.Millis {
+func (l *Queue[R]) EstimateWait(slots int) clock.Millis {
 	if l.hall.typical == 0 || slots <= 0 {
 		return 0
 	}
@@ -52,32 +52,32 @@
 		}
 	}
 	rate := float64(slots) * float64(l.turn.Weight) / float64(total)
-	rate = min(rate, float64(l.Account.Limit.InFlight))
+	rate = min(rate, float64(l.Customer.Limit.MaxInFlight))
 	return clock.Millis(float64(l.length+1) * l.hall.typical / rate)
 }
 
-// Leave takes a waiter out of its line, for a request that was given up.
-func (l *Line[R]) Leave(w *Waiter[R]) { l.remove(w) }
+// Remove takes a waiter out of its line, for a request that was given up.
+func (l *Queue[R]) Remove(w *Waiter[R]) { l.remove(w) }
 
-func (l *Line[R]) push(w *Waiter[R]) {
+func (l *Queue[R]) push(w *Waiter[R]) {
 	w.line = l
 	w.prev = l.last
 	if l.last == nil {
 		l.first = w
-		l.turn.Head = w.number
+		l.turn.FirstArrival = w.number
 		l.place = len(l.hall.active)
 		l.hall.active = append(l.hall.active, l)
 		// A line that was idle gets no credit for the time it did not use.
-		l.turn.Pass = max(l.turn.Pass, l.hall.pass)
+		l.turn.VirtualTime = max(l.turn.VirtualTime, l.hall.pass)
 	} else {
 		l.last.next = w
 	}
 	l.last = w
 	l.length++
-	l.Account.Waiting++
+	l.Customer.Waiting++
 }
 
-func (l *Line[R]) remove(w *Waiter[R]) {
+func (l *Queue[R]) remove(w *Waiter[R]) {
 	if w.prev == nil {
 		l.first = w.next
 	} else {
@@ -90,9 +90,9 @@
 	}
 	w.prev, w.next = nil, nil
 	l.length--
-	l.Account.Waiting--
+	l.Customer.Waiting--
 	if l.first != nil {
-		l.turn.Head = l.first.number
+		l.turn.FirstArrival = l.first.number
 		return
 	}
 	h := l.hall
@@ -104,14 +104,14 @@
 }
 
 // start moves the virtual time of the line on by one request.
-func (l *Line[R]) start() {
-	l.turn.Pass = max(l.turn.Pass, l.hall.pass)
-	l.hall.pass = l.turn.Pass
-	l.turn.Pass += 1 / float64(l.turn.Weight)
+func (l *Queue[R]) start() {
+	l.turn.VirtualTime = max(l.turn.VirtualTime, l.hall.pass)
+	l.hall.pass = l.turn.VirtualTime
+	l.turn.VirtualTime += 1 / float64(l.turn.Weight)
 }
 
 // expire removes the waiters whose deadline is at or before now.
-func (l *Line[R]) expire(now clock.Millis, late []R) []R {
+func (l *Queue[R]) expire(now clock.Millis, late []R) []R {
 	for w := l.first; w != nil; {
 		next := w.next
 		if w.Deadline <= now {
@@ -123,7 +123,7 @@
 	return late
 }
 
-func (l *Line[R]) clear(out []R) []R {
+func (l *Queue[R]) clear(out []R) []R {
 	for l.first != nil {
 		out = append(out, l.first.Ref)
 		l.remove(l.first)
--- a/core/state/admit/picker.go
+++ b/core/state/admit/picker.go
@@ -3,44 +3,44 @@
 // Picker chooses the line that runs next. It gets only lines that have a
 // waiter and whose customer is below its share; there is at least one.
 type Picker interface {
-	Pick(lines []*Turn) int
+	Pick(lines []*QueueInfo) int
 }
 
-// Turn is what a picker knows of a customer's line in one pool.
-type Turn struct {
+// QueueInfo is what a picker knows of a customer's line in one pool.
+type QueueInfo struct {
 	// Weight is at least 1.
 	Weight int
-	// Pass is the virtual time of the next start; it only grows while the
+	// VirtualTime is the virtual time of the next start; it only grows while the
 	// line is in use.
-	Pass float64
-	// Head is the arrival number of the first waiter; it grows over all lines.
-	Head uint64
+	VirtualTime float64
+	// FirstArrival is the arrival number of the first waiter; it grows over all lines.
+	FirstArrival uint64
 }
 
-// Fair picks the line with the lowest virtual time. A start moves the line's
+// WeightedFair picks the line with the lowest virtual time. A start moves the line's
 // virtual time on by 1/weight, so busy lines start in proportion to their
 // weights and a flood in one line does not delay the others.
-type Fair struct{}
+type WeightedFair struct{}
 
 // Pick returns the index of the line with the lowest Pass.
-func (Fair) Pick(lines []*Turn) int {
+func (WeightedFair) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
-		if t.Pass < lines[best].Pass {
+		if t.VirtualTime < lines[best].VirtualTime {
 			best = i
 		}
 	}
 	return best
 }
 
-// Arrival is the baseline: first come, first served over all customers.
-type Arrival struct{}
+// FIFO is the baseline: first come, first served over all customers.
+type FIFO struct{}
 
 // Pick returns the index of the line whose first waiter came first.
-func (Arrival) Pick(lines []*Turn) int {
+func (FIFO) Pick(lines []*QueueInfo) int {
 	best := 0
 	for i, t := range lines {
-		if t.Head < lines[best].Head {
+		if t.FirstArrival < lines[best].FirstArrival {
 			best = i
 		}
 	}
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -60,10 +60,10 @@
 	if c.Process == "" {
 		return invalid("the change names no process")
 	}
-	if _, known := s.Gone[c.Process]; !known && len(s.Gone) >= MaxGone {
-		return invalid(fmt.Sprintf("%d processes are remembered as gone already", MaxGone))
+	if _, known := s.GoneProcesses[c.Process]; !known && len(s.GoneProcesses) >= MaxGoneProcesses {
+		return invalid(fmt.Sprintf("%d processes are remembered as gone already", MaxGoneProcesses))
 	}
-	s.Gone[c.Process] = s.Time
+	s.GoneProcesses[c.Process] = s.Time
 	return model.Result{Version: index}
 }
 
@@ -82,11 +82,11 @@
 		}
 	}
 	return model.Result{
-		Kind:    model.ResultConflict,
-		Version: max(current, a.Version),
-		Winner:  a.Name,
-		Differs: differs,
-		Reason:  reason,
+		Kind:            model.ResultConflict,
+		Version:         max(current, a.Version),
+		Winner:          a.Name,
+		DifferingFields: differs,
+		Reason:          reason,
 	}
 }
 
@@ -150,7 +150,7 @@
 	next.Version = index
 	s.Contracts[name] = next
 	s.Authors[object] = Author{Name: c.Author, Version: index}
-	s.touch(Touch{Version: index, Contract: name})
+	s.touch(TableChange{Version: index, Contract: name})
 	return model.Result{Version: index, Reason: c.Note}
 }
 
@@ -165,7 +165,7 @@
 	}
 	delete(s.Contracts, c.Customer)
 	s.removed(object, c.Author, index)
-	s.touch(Touch{Version: index, Contract: c.Customer})
+	s.touch(TableChange{Version: index, Contract: c.Customer})
 	return model.Result{Version: index}
 }
 
@@ -180,7 +180,7 @@
 		return s.conflict(object, held.Version, maintenanceDiff(held, m))
 	}
 	m.Version = index
-	m.Declared = s.Time
+	m.DeclaredAt = s.Time
 	s.Maintenance[m.Name] = m
 	s.Authors[object] = Author{Name: c.Author, Version: index}
 	return model.Result{Version: index}
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -71,8 +71,8 @@
 	held := s.Instances[id]
 	return model.InstanceStep{Base: near(t, held.Version), Instance: model.Instance{
 		ID: id, Zone: "z", Pool: pick(t, "pool", "a", "b", held.Pool, held.Pool), Target: pick(t, "target", pools...),
-		Phase: pick(t, "phase", append(phases, held.Phase, model.PhaseServing)...),
-		Lost:  pick[clock.Millis](t, "lost", 0, 0, 1),
+		Phase:     pick(t, "phase", append(phases, held.Phase, model.PhaseServing)...),
+		LostSince: pick[clock.Millis](t, "lost", 0, 0, 1),
 	}}
 }
 
@@ -81,7 +81,7 @@
 func checkPools(t *rapid.T, before, after model.Table) {
 	assert.Assert(t, after.Version >= before.Version)
 	for _, is := range after.Instances {
-		assert.Assert(t, (is.Out != 0) == is.OutOfService(), "%+v", is)
+		assert.Assert(t, (is.OutSince != 0) == is.OutOfService(), "%+v", is)
 	}
 	for id, was := range before.Instances {
 		is := after.Instances[id]
@@ -211,7 +211,7 @@
 			assert.Equal(t, r.Kind, model.ResultConflict, "%+v", r)
 			assert.Equal(t, r.Winner, "ana")
 			assert.Equal(t, r.Version, model.Version(2))
-			assert.DeepEqual(t, r.Differs, c.differs)
+			assert.DeepEqual(t, r.DifferingFields, c.differs)
 		})
 	}
 }
@@ -285,7 +285,7 @@
 			put(model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{{Base: s.Instances[i.ID].Version, Instance: i}}})
 		}
 	}
-	for range fleet.MaxTouches {
+	for range fleet.MaxTableChanges {
 		put(model.Change{Kind: model.ChangeContractApply, Base: s.Contracts["x"].Version, Contract: model.Contract{Customer: "x"}})
 	}
 	retired := 0
@@ -295,7 +295,7 @@
 		}
 	}
 	assert.Equal(t, retired, fleet.MaxRetired)
-	assert.Equal(t, len(s.Touches), fleet.MaxTouches)
+	assert.Equal(t, len(s.TableChanges), fleet.MaxTableChanges)
 	late := model.Table{}
 	assert.Assert(t, s.Delta(1).Full, "a reader behind the touches gets the whole table")
 	assert.Assert(t, fleet.Merge(&late, s.Delta(1)))
@@ -310,13 +310,13 @@
 	key := func(k string) model.ClaimKey { return model.ClaimKey{Customer: "acme", Service: "merge", Key: k} }
 	claim := func(index model.Version, k string, run uint64) model.ClaimAnswer {
 		r := s.Apply(index, model.Change{
-			Kind: model.ChangeClaims, Process: "e1", Run: run,
+			Kind: model.ChangeClaims, Process: "e1", Incarnation: run,
 			Claims: []model.Claim{{Key: key(k), Token: "t" + k}},
 		})
 		return r.Claims[0]
 	}
 	assert.Assert(t, claim(1, "a", 10).Granted)
-	s.Apply(2, model.Change{Kind: model.ChangeClaims, Process: "e1", Run: 11})
+	s.Apply(2, model.Change{Kind: model.ChangeClaims, Process: "e1", Incarnation: 11})
 	assert.Assert(t, claim(3, "b", 11).Granted)
 	held, _ := s.Claims.Get(key("a"))
 	assert.Equal(t, held.State, model.ClaimUnknown)
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -10,20 +10,20 @@
 // request was not finished. A claim without a token is refused: two attempts
 // without one would both be granted.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
-	s.beginRun(c.Process, c.Run)
+	s.beginRun(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
 		held, ok := s.Claims.Get(claim.Key)
 		switch {
 		case claim.Token == "" || claim.Key.Key == "":
-			r.Claims = append(r.Claims, model.ClaimAnswer{First: model.ClaimUnknown})
+			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: model.ClaimUnknown})
 		case !ok:
-			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Run: c.Run}, s.Time)
+			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Incarnation: c.Incarnation}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		case held.Token == claim.Token && held.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		default:
-			r.Claims = append(r.Claims, model.ClaimAnswer{First: held.State, Status: held.Status})
+			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: held.State, Status: held.Status})
 		}
 	}
 	return r
@@ -33,16 +33,16 @@
 // earlier runs have ended with them, so what is known of those that were
 // running becomes unknown. The claims are looked at once for each run.
 func (s *State) beginRun(p model.Process, run uint64) {
-	held, known := s.Runs[p]
-	if p == "" || run <= held || (!known && len(s.Runs) >= MaxRuns) {
+	held, known := s.Incarnations[p]
+	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxIncarnations) {
 		return
 	}
-	s.Runs[p] = run
+	s.Incarnations[p] = run
 	if !known {
 		return
 	}
 	s.Claims.Each(func(k model.ClaimKey, c HeldClaim, _ clock.Millis) {
-		if c.Owner == p && c.Run < run && c.State == model.ClaimRunning {
+		if c.Owner == p && c.Incarnation < run && c.State == model.ClaimRunning {
 			c.State = model.ClaimUnknown
 			s.Claims.Update(k, c)
 		}
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -19,13 +19,13 @@
 	// MaxOutages bounds the remembered outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
-	// MaxGone bounds the entry processes that are remembered as gone.
-	MaxGone = 1000
-	// MaxRuns bounds the entry processes whose incarnation is remembered.
-	MaxRuns = 1000
-	// MaxTouches is the number of table changes that a delta can span; a
+	// MaxGoneProcesses bounds the entry processes that are remembered as gone.
+	MaxGoneProcesses = 1000
+	// MaxIncarnations bounds the entry processes whose incarnation is remembered.
+	MaxIncarnations = 1000
+	// MaxTableChanges is the number of table changes that a delta can span; a
 	// reader that is further behind gets the whole table.
-	MaxTouches = 10_000
+	MaxTableChanges = 10_000
 	// MaxRemoved is the number of removed objects whose removal is remembered
 	// to name the winner of a conflict. Operators notice a conflict within
 	// hours; the target scale has 2,300 changes a day.
@@ -50,24 +50,24 @@
 	Maintenance map[string]model.Maintenance
 	// Results holds the answers to operators' changes by request identity;
 	// at most MaxResults.
-	Results *Memory[model.RequestID, model.Result]
+	Results *ExpiringMap[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
-	Claims *Memory[model.ClaimKey, HeldClaim]
-	// Gone holds the entry processes that were declared gone, with the time of
+	Claims *ExpiringMap[model.ClaimKey, HeldClaim]
+	// GoneProcesses holds the entry processes that were declared gone, with the time of
 	// the declaration: runs that started before it have ended. At most MaxGone.
-	Gone map[model.Process]clock.Millis
-	// Runs holds the latest incarnation of each entry process that claimed; at
+	GoneProcesses map[model.Process]clock.Millis
+	// Incarnations holds the latest incarnation of each entry process that claimed; at
 	// most MaxRuns, and each only grows.
-	Runs map[model.Process]uint64
+	Incarnations map[model.Process]uint64
 	// Outages lists the finished outages in the order of their ends; at most
 	// MaxOutages. Budgets are computed from them, also by a new leader.
 	Outages []model.Outage
 	// Authors names who last changed or removed an object, for conflicts; at
 	// most MaxRemoved of the objects do not exist any more.
 	Authors map[string]Author
-	// Touches lists the latest table changes in ascending order of version;
+	// TableChanges lists the latest table changes in ascending order of version;
 	// at most MaxTouches.
-	Touches []Touch
+	TableChanges []TableChange
 	// Jobs is the submitted work.
 	Jobs *jobs.State
 }
@@ -77,10 +77,10 @@
 	Token string
 	// Owner and Run name the entry process that runs the request, and its
 	// incarnation.
-	Owner  model.Process
-	Run    uint64
-	State  model.ClaimState
-	Status int
+	Owner       model.Process
+	Incarnation uint64
+	State       model.ClaimState
+	Status      int
 }
 
 // Author is who last changed an object and by which change.
@@ -89,8 +89,8 @@
 	Version model.Version
 }
 
-// Touch says that a change altered a contract or an instance; one name is set.
-type Touch struct {
+// TableChange says that a change altered a contract or an instance; one name is set.
+type TableChange struct {
 	Version  model.Version
 	Contract model.Customer
 	Instance model.InstanceID
@@ -99,15 +99,15 @@
 // New returns the empty state.
 func New() *State {
 	return &State{
-		Contracts:   map[model.Customer]model.Contract{},
-		Instances:   map[model.InstanceID]model.Instance{},
-		Maintenance: map[string]model.Maintenance{},
-		Results:     NewMemory[model.RequestID, model.Result](MaxResults, ResultLifetime),
-		Claims:      NewMemory[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
-		Authors:     map[string]Author{},
-		Gone:        map[model.Process]clock.Millis{},
-		Runs:        map[model.Process]uint64{},
-		Jobs:        jobs.New(),
+		Contracts:     map[model.Customer]model.Contract{},
+		Instances:     map[model.InstanceID]model.Instance{},
+		Maintenance:   map[string]model.Maintenance{},
+		Results:       NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
+		Claims:        NewExpiringMap[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
+		Authors:       map[string]Author{},
+		GoneProcesses: map[model.Process]clock.Millis{},
+		Incarnations:  map[model.Process]uint64{},
+		Jobs:          jobs.New(),
 	}
 }
 
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -45,7 +45,7 @@
 		next.Version = index
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
-		s.touch(Touch{Version: index, Instance: next.ID})
+		s.touch(TableChange{Version: index, Instance: next.ID})
 		retired = retired || next.Phase == model.PhaseRetired
 	}
 	if retired {
@@ -59,17 +59,17 @@
 // new leader's clock may be behind, and an outage must not end before its
 // start.
 func (s *State) account(held, next model.Instance, now clock.Millis) model.Instance {
-	next.Since = held.Since
+	next.PhaseSince = held.PhaseSince
 	if held.ID == "" || next.Phase != held.Phase {
-		next.Since = now
+		next.PhaseSince = now
 	}
-	next.Out = held.Out
+	next.OutSince = held.OutSince
 	switch {
-	case next.OutOfService() && held.Out == 0:
-		next.Out = now
-	case !next.OutOfService() && held.Out != 0:
-		next.Out = 0
-		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.Out, To: now})
+	case next.OutOfService() && held.OutSince == 0:
+		next.OutSince = now
+	case !next.OutOfService() && held.OutSince != 0:
+		next.OutSince = 0
+		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.OutSince, To: now})
 		if over := len(s.Outages) - MaxOutages; over > 0 {
 			s.Outages = s.Outages[over:]
 		}
@@ -134,17 +134,17 @@
 	for _, i := range retired[:over] {
 		delete(s.Instances, i.ID)
 		delete(s.Authors, "instance "+string(i.ID))
-		s.touch(Touch{Version: index, Instance: i.ID})
+		s.touch(TableChange{Version: index, Instance: i.ID})
 	}
 }
 
-func (s *State) touch(t Touch) {
+func (s *State) touch(t TableChange) {
 	s.Version = t.Version
-	s.Touches = append(s.Touches, t)
-	if over := len(s.Touches) - MaxTouches; over > 0 {
+	s.TableChanges = append(s.TableChanges, t)
+	if over := len(s.TableChanges) - MaxTableChanges; over > 0 {
 		// The front is cut off without a copy; append moves the rest to a new
 		// array when this one is full.
-		s.Touches = s.Touches[over:]
+		s.TableChanges = s.TableChanges[over:]
 	}
 }
 
@@ -161,8 +161,8 @@
 	d := model.Delta{From: from, To: s.Version}
 	seenContract := map[model.Customer]bool{}
 	seenInstance := map[model.InstanceID]bool{}
-	for i := len(s.Touches) - 1; i >= 0 && s.Touches[i].Version > from; i-- {
-		t := s.Touches[i]
+	for i := len(s.TableChanges) - 1; i >= 0 && s.TableChanges[i].Version > from; i-- {
+		t := s.TableChanges[i]
 		if t.Contract != "" && !seenContract[t.Contract] {
 			seenContract[t.Contract] = true
 			s.addContract(&d, t.Contract)
@@ -193,10 +193,10 @@
 
 // covers reports whether the touches hold every change after from.
 func (s *State) covers(from model.Version) bool {
-	if len(s.Touches) < MaxTouches {
+	if len(s.TableChanges) < MaxTableChanges {
 		return true
 	}
-	return s.Touches[0].Version <= from
+	return s.TableChanges[0].Version <= from
 }
 
 func (s *State) fullDelta() model.Delta {
--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -8,7 +8,7 @@
 // Clone returns a copy that shares nothing that operations change.
 func (s *State) Clone() *State {
 	c := *s
-	c.Ended = slices.Clone(s.Ended)
+	c.EndedJobs = slices.Clone(s.EndedJobs)
 	c.Jobs = make(map[ID]*Record, len(s.Jobs))
 	for id, r := range s.Jobs {
 		c.Jobs[id] = r.clone()
@@ -16,7 +16,7 @@
 	c.Waves = make(map[int]*Wave, len(s.Waves))
 	for n, w := range s.Waves {
 		x := *w
-		x.Ordered, x.Begun = maps.Clone(w.Ordered), maps.Clone(w.Begun)
+		x.Ordered, x.Started = maps.Clone(w.Ordered), maps.Clone(w.Started)
 		c.Waves[n] = &x
 	}
 	return &c
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -20,8 +20,8 @@
 	// Seq is the number of the latest accepted job; it only grows.
 	Seq   uint64
 	Waves map[int]*Wave
-	// Ended lists the jobs with a final status in the order of their ends.
-	Ended []ID
+	// EndedJobs lists the jobs with a final status in the order of their ends.
+	EndedJobs []ID
 }
 
 // New returns the empty state.
@@ -54,15 +54,15 @@
 		if o.Config.Version > s.Config.Version {
 			s.Config = *o.Config
 		}
-	case OpWave:
+	case OpDeclareWave:
 		s.declare(o.Wave)
-	case OpOrdered:
-		if w := s.Waves[o.Number]; w != nil {
+	case OpMaintenanceOrdered:
+		if w := s.Waves[o.WaveNumber]; w != nil {
 			w.Ordered[o.Machine] = true
 		}
-	case OpBegun:
-		if w := s.Waves[o.Number]; w != nil {
-			w.Begun[o.Machine] = true
+	case OpMaintenanceStarted:
+		if w := s.Waves[o.WaveNumber]; w != nil {
+			w.Started[o.Machine] = true
 		}
 	}
 }
@@ -77,33 +77,33 @@
 
 // NewRecord returns the record of a job of which nothing has run.
 func NewRecord(j Job, seq uint64) *Record {
-	r := &Record{Job: j, Seq: seq, Occurrences: make([]Occurrence, max(j.Times, 1))}
+	r := &Record{Job: j, Seq: seq, Occurrences: make([]Occurrence, max(j.OccurrenceCount, 1))}
 	for k := range r.Occurrences {
 		r.Occurrences[k] = newOccurrence(j.Steps)
 	}
 	return r
 }
 
-// Count sets the sums of what is done from the phases of the tasks.
-func (r *Record) Count() {
-	r.Done = 0
+// Recount sets the sums of what is done from the phases of the tasks.
+func (r *Record) Recount() {
+	r.DoneOccurrences = 0
 	for k := range r.Occurrences {
 		o := &r.Occurrences[k]
-		o.Done = 0
+		o.DoneSteps = 0
 		for i := range o.Steps {
 			st := &o.Steps[i]
-			st.Done = 0
+			st.DoneTasks = 0
 			for _, t := range st.Tasks {
 				if t.Phase == PhaseDone {
-					st.Done++
+					st.DoneTasks++
 				}
 			}
-			if st.Done == len(st.Tasks) {
-				o.Done++
+			if st.DoneTasks == len(st.Tasks) {
+				o.DoneSteps++
 			}
 		}
-		if o.Done == len(o.Steps) {
-			r.Done++
+		if o.DoneSteps == len(o.Steps) {
+			r.DoneOccurrences++
 		}
 	}
 }
@@ -112,12 +112,12 @@
 func newOccurrence(steps []Step) Occurrence {
 	n := 0
 	for i := range steps {
-		n += steps[i].Count
+		n += steps[i].TaskCount
 	}
 	all := make([]TaskState, n)
 	o := Occurrence{Steps: make([]StepState, len(steps))}
 	for i := range steps {
-		o.Steps[i].Tasks, all = all[:steps[i].Count:steps[i].Count], all[steps[i].Count:]
+		o.Steps[i].Tasks, all = all[:steps[i].TaskCount:steps[i].TaskCount], all[steps[i].TaskCount:]
 	}
 	return o
 }
@@ -129,26 +129,26 @@
 }
 
 func (s *State) finish(r *Record, to Status) {
-	r.Status, r.Ended = to, s.Time
+	r.Status, r.EndedAt = to, s.Time
 	// Nothing of an ended job is started any more.
 	r.Spec = ""
-	s.Ended = append(s.Ended, r.ID)
+	s.EndedJobs = append(s.EndedJobs, r.ID)
 }
 
 // forget drops jobs that ended longer ago than Retention.
 func (s *State) forget() {
-	for len(s.Ended) > 0 {
-		r := s.Jobs[s.Ended[0]]
-		if r != nil && s.Time-r.Ended < Retention {
+	for len(s.EndedJobs) > 0 {
+		r := s.Jobs[s.EndedJobs[0]]
+		if r != nil && s.Time-r.EndedAt < Retention {
 			return
 		}
-		delete(s.Jobs, s.Ended[0])
-		s.Ended = s.Ended[1:]
+		delete(s.Jobs, s.EndedJobs[0])
+		s.EndedJobs = s.EndedJobs[1:]
 	}
 }
 
 // Task returns the state of a task; nil for one that does not exist.
-func (s *State) Task(t Task) *TaskState {
+func (s *State) Task(t TaskID) *TaskState {
 	r := s.Jobs[t.Job]
 	if r == nil {
 		return nil
@@ -158,7 +158,7 @@
 
 // Task returns the state of a task of the job; nil for one that does not
 // exist.
-func (r *Record) Task(t Task) *TaskState {
+func (r *Record) Task(t TaskID) *TaskState {
 	if t.Occurrence < 0 || t.Occurrence >= len(r.Occurrences) || t.Step < 0 || t.Index < 0 {
 		return nil
 	}
@@ -169,14 +169,14 @@
 	return &o.Steps[t.Step].Tasks[t.Index]
 }
 
-// All yields the tasks of the job in order.
-func (r *Record) All() iter.Seq2[Task, *TaskState] {
-	return func(yield func(Task, *TaskState) bool) {
+// Tasks yields the tasks of the job in order.
+func (r *Record) Tasks() iter.Seq2[TaskID, *TaskState] {
+	return func(yield func(TaskID, *TaskState) bool) {
 		for k := range r.Occurrences {
 			for i := range r.Occurrences[k].Steps {
 				tasks := r.Occurrences[k].Steps[i].Tasks
 				for n := range tasks {
-					if !yield(Task{Job: r.ID, Occurrence: k, Step: i, Index: n}, &tasks[n]) {
+					if !yield(TaskID{Job: r.ID, Occurrence: k, Step: i, Index: n}, &tasks[n]) {
 						return
 					}
 				}
@@ -186,17 +186,17 @@
 }
 
 // stepOf returns the state of a task's step.
-func (r *Record) stepOf(t Task) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
+func (r *Record) stepOf(t TaskID) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
 
-// Fails counts the failed runs of a step; the tasks of a gang fail together.
-func (r *Record) Fails(occurrence, step int) int {
+// Failures counts the failed runs of a step; the tasks of a gang fail together.
+func (r *Record) Failures(occurrence, step int) int {
 	st := &r.Occurrences[occurrence].Steps[step]
 	if r.Steps[step].Gang {
 		return st.fails()
 	}
 	n := 0
 	for i := range st.Tasks {
-		n += st.Tasks[i].Fails
+		n += st.Tasks[i].Failures
 	}
 	return n
 }
@@ -205,7 +205,7 @@
 func (st *StepState) fails() int {
 	n := 0
 	for i := range st.Tasks {
-		n = max(n, st.Tasks[i].Fails)
+		n = max(n, st.Tasks[i].Failures)
 	}
 	return n
 }
@@ -214,7 +214,7 @@
 // all, and all have to start from the same one.
 func (st *StepState) save(saved string) {
 	for i := range st.Tasks {
-		st.Tasks[i].Saved = saved
+		st.Tasks[i].Checkpoint = saved
 	}
 }
 
@@ -228,10 +228,10 @@
 		return
 	}
 	if r.Steps[o.Task.Step].Gang {
-		t.Fails = r.stepOf(o.Task).fails()
+		t.Failures = r.stepOf(o.Task).fails()
 	}
-	t.Phase, t.Run, t.Worker, t.Life = PhaseAssigned, o.Run, o.Worker, o.Life
-	r.Started = true
+	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, o.Run, o.Worker, o.Incarnation
+	r.EverAssigned = true
 	if r.Status == StatusQueued {
 		r.Status = StatusRunning
 	}
@@ -246,20 +246,20 @@
 	if t == nil || t.Phase != PhaseAssigned || t.Run != o.Run {
 		return
 	}
-	t.Phase, t.Worker, t.Life = PhaseWaiting, "", 0
+	t.Phase, t.Worker, t.Incarnation = PhaseWaiting, "", 0
 	step := &r.Steps[o.Task.Step]
-	if o.Saved != "" {
-		t.Saved = o.Saved
+	if o.Checkpoint != "" {
+		t.Checkpoint = o.Checkpoint
 		if step.Gang {
-			r.stepOf(o.Task).save(o.Saved)
+			r.stepOf(o.Task).save(o.Checkpoint)
 		}
 	}
 	switch {
-	case o.How == HowDone && !step.Lasting:
+	case o.Result == ResultDone && !step.LongRunning:
 		s.done(r, o.Task)
-	case o.How == HowFailed && !step.Lasting:
-		t.Fails++
-		if t.Fails >= max(r.Attempts, 1) && !r.Status.Final() {
+	case o.Result == ResultFailed && !step.LongRunning:
+		t.Failures++
+		if t.Failures >= max(r.MaxAttempts, 1) && !r.Status.Final() {
 			s.finish(r, StatusFailed)
 		}
 	}
@@ -267,28 +267,28 @@
 
 // done notes a task's good end, and those of its step, occurrence and job with
 // it. The good end of one task of a gang stands for all of them.
-func (s *State) done(r *Record, id Task) {
+func (s *State) done(r *Record, id TaskID) {
 	o := &r.Occurrences[id.Occurrence]
 	st := &o.Steps[id.Step]
 	if r.Steps[id.Step].Gang {
 		for n := range st.Tasks {
 			t := &st.Tasks[n]
-			t.Phase, t.Worker, t.Life = PhaseDone, "", 0
+			t.Phase, t.Worker, t.Incarnation = PhaseDone, "", 0
 		}
-		st.Done = len(st.Tasks)
+		st.DoneTasks = len(st.Tasks)
 	} else {
 		st.Tasks[id.Index].Phase = PhaseDone
-		st.Done++
+		st.DoneTasks++
 	}
-	if st.Done < len(st.Tasks) {
+	if st.DoneTasks < len(st.Tasks) {
 		return
 	}
-	o.Done++
-	if o.Done < len(o.Steps) {
+	o.DoneSteps++
+	if o.DoneSteps < len(o.Steps) {
 		return
 	}
-	r.Done++
-	if r.Done == len(r.Occurrences) && !r.Status.Final() {
+	r.DoneOccurrences++
+	if r.DoneOccurrences == len(r.Occurrences) && !r.Status.Final() {
 		s.finish(r, StatusCompleted)
 	}
 }
@@ -298,7 +298,7 @@
 		return
 	}
 	n := *w
-	n.Ordered, n.Begun = map[MachineID]bool{}, map[MachineID]bool{}
+	n.Ordered, n.Started = map[MachineID]bool{}, map[MachineID]bool{}
 	s.Waves[w.Number] = &n
 }
 
@@ -315,8 +315,8 @@
 // Ready reports whether all tasks of the steps that a step waits for are done.
 func (r *Record) Ready(occurrence, step int) bool {
 	o := &r.Occurrences[occurrence]
-	for _, before := range r.Steps[step].After {
-		if o.Steps[before].Done < len(o.Steps[before].Tasks) {
+	for _, before := range r.Steps[step].DependsOn {
+		if o.Steps[before].DoneTasks < len(o.Steps[before].Tasks) {
 			return false
 		}
 	}
@@ -325,18 +325,18 @@
 
 // Due returns the time from which an occurrence may start; 0 for at once.
 func (r *Record) Due(occurrence int) clock.Millis {
-	if r.Times == 0 {
+	if r.OccurrenceCount == 0 {
 		return 0
 	}
-	return r.First + clock.Millis(occurrence)*r.Interval
+	return r.FirstDue + clock.Millis(occurrence)*r.Interval
 }
 
-// Chain returns the length of the longest chain of steps by their estimates.
-func (j *Job) Chain() clock.Millis {
+// CriticalPath returns the length of the longest chain of steps by their estimates.
+func (j *Job) CriticalPath() clock.Millis {
 	var longest clock.Millis
 	ends := make([]clock.Millis, len(j.Steps))
 	for i := range j.Steps {
-		for _, before := range j.Steps[i].After {
+		for _, before := range j.Steps[i].DependsOn {
 			ends[i] = max(ends[i], ends[before])
 		}
 		ends[i] += j.Steps[i].Estimate
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -23,16 +23,16 @@
 	MaxTasks = 20_000
 )
 
-// Size is an amount of processors, memory and accelerators.
-type Size struct {
+// Resources is an amount of processors, memory and accelerators.
+type Resources struct {
 	MilliCores   int
 	MemoryMiB    int
 	Accelerators int
 }
 
 // Plus adds each resource of o.
-func (s Size) Plus(o Size) Size {
-	return Size{
+func (s Resources) Plus(o Resources) Resources {
+	return Resources{
 		MilliCores:   s.MilliCores + o.MilliCores,
 		MemoryMiB:    s.MemoryMiB + o.MemoryMiB,
 		Accelerators: s.Accelerators + o.Accelerators,
@@ -40,8 +40,8 @@
 }
 
 // Minus takes each resource of o off; the result may be negative.
-func (s Size) Minus(o Size) Size {
-	return Size{
+func (s Resources) Minus(o Resources) Resources {
+	return Resources{
 		MilliCores:   s.MilliCores - o.MilliCores,
 		MemoryMiB:    s.MemoryMiB - o.MemoryMiB,
 		Accelerators: s.Accelerators - o.Accelerators,
@@ -49,16 +49,16 @@
 }
 
 // Fits reports whether room has enough of every resource.
-func (s Size) Fits(room Size) bool {
+func (s Resources) Fits(room Resources) bool {
 	return s.MilliCores <= room.MilliCores && s.MemoryMiB <= room.MemoryMiB && s.Accelerators <= room.Accelerators
 }
 
-// Life tells the lives of a worker with one name apart: the Unix millisecond
+// Incarnation tells the lives of a worker with one name apart: the Unix millisecond
 // of its start. A later life knows nothing of an earlier one.
-type Life int64
+type Incarnation int64
 
-// Task names one task of a job.
-type Task struct {
+// TaskID names one task of a job.
+type TaskID struct {
 	Job ID
 	// Occurrence counts the repetitions of a scheduled job from 0.
 	Occurrence int
@@ -75,27 +75,27 @@
 	Pool   PoolName
 	// Priority 0 goes first.
 	Priority int
-	// Attempts is the number of failed runs after which a task fails its job;
+	// MaxAttempts is the number of failed runs after which a task fails its job;
 	// at least 1.
-	Attempts int
+	MaxAttempts int
 	// Target and StretchPermille make a job's objective: the target on top of
 	// the stretched length of its longest chain of steps.
 	Target          clock.Millis
 	StretchPermille int
 	// Advice is the zero value for a queue whose tasks may run on any worker of
 	// the pool.
-	Advice Advice
+	Advice AdvicePolicy
 }
 
-// Advice is the rule of a queue that runs each step only on the workers that
+// AdvicePolicy is the rule of a queue that runs each step only on the workers that
 // the advice service names for it.
-type Advice struct {
-	// Valid is how long a ticket holds; above 0 for a queue with advice.
-	Valid clock.Millis
-	// Decide is how long an answer takes, and Each how much longer for each
+type AdvicePolicy struct {
+	// TicketValidity is how long a ticket holds; above 0 for a queue with advice.
+	TicketValidity clock.Millis
+	// BaseLatency is how long an answer takes, and Each how much longer for each
 	// worker named.
-	Decide clock.Millis
-	Each   clock.Millis
+	BaseLatency      clock.Millis
+	LatencyPerWorker clock.Millis
 }
 
 // Pool is a set of workers of the configuration.
@@ -103,8 +103,8 @@
 	Name PoolName
 	// Standby pools hold machines that are off.
 	Standby bool
-	// Guarded workers reject a start that they have no room for.
-	Guarded bool
+	// AdmissionControl workers reject a start that they have no room for.
+	AdmissionControl bool
 }
 
 // Config is the configuration in force.
@@ -119,38 +119,38 @@
 
 // Step is one step of a job.
 type Step struct {
-	// Count is the number of tasks; at least 1.
-	Count int
-	Need  Size
+	// TaskCount is the number of tasks; at least 1.
+	TaskCount int
+	Resources Resources
 	// Estimate is a rough duration of one task.
 	Estimate clock.Millis
-	// After lists the earlier steps that must be done first.
-	After []int
-	// Saves is set when tasks make checkpoints.
-	Saves bool
+	// DependsOn lists the earlier steps that must be done first.
+	DependsOn []int
+	// Checkpoints is set when tasks make checkpoints.
+	Checkpoints bool
 	// Gang tasks work only all together: they start at once with one run number,
 	// end well together, and go on from one checkpoint.
 	Gang     bool
 	SameRack bool
-	// Label must be among a worker's labels when it is not empty.
-	Label string
+	// RequiredLabel must be among a worker's labels when it is not empty.
+	RequiredLabel string
 	// DataRack is the rack near the data; empty for none.
 	DataRack string
-	// PerWorker bounds the tasks of the step on one worker; 0 for no bound.
-	PerWorker int
-	// Copies allows several runs of a task at a time.
-	Copies bool
-	// Lasting tasks run until the job is cancelled.
-	Lasting bool
-	Image   string
-	// Latency is the bound on a serving task's tail; 0 for none.
-	Latency clock.Millis
-	// Filler tasks take processor time that others leave; their share of Need
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
+	MaxPerWorker int
+	// Speculative allows several runs of a task at a time.
+	Speculative bool
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool
+	Image       string
+	// LatencyTarget is the bound on a serving task's tail; 0 for none.
+	LatencyTarget clock.Millis
+	// BestEffort tasks take processor time that others leave; their share of Need
 	// is not counted.
-	Filler bool
-	// MayMiss is the number of lasting tasks that may be away at a time by the
+	BestEffort bool
+	// MaxUnavailable is the number of lasting tasks that may be away at a time by the
 	// system's own action.
-	MayMiss int
+	MaxUnavailable int
 }
 
 // Job is what a submitter hands in, with the rules of its queue at that time.
@@ -163,18 +163,18 @@
 	// Spec is passed on to workers as it is.
 	Spec  string
 	Steps []Step
-	// Times is the number of occurrences of a scheduled job, which are due at
+	// OccurrenceCount is the number of occurrences of a scheduled job, which are due at
 	// First and then each Interval; 0 for a job that runs once, at once.
-	Times    int
-	First    clock.Millis
-	Interval clock.Millis
+	OccurrenceCount int
+	FirstDue        clock.Millis
+	Interval        clock.Millis
 	// Priority, Attempts, Target and StretchPermille are the queue's.
 	Priority        int
-	Attempts        int
+	MaxAttempts     int
 	Target          clock.Millis
 	StretchPermille int
-	// Accepted is the leader's time at submission.
-	Accepted clock.Millis
+	// AcceptedAt is the leader's time at submission.
+	AcceptedAt clock.Millis
 }
 
 // Phase is the state of a task.
@@ -196,28 +196,28 @@
 	// Run is the number of the latest start; it only grows, also over changes
 	// of leader, so that two starts never share a number.
 	Run int
-	// Fails counts the runs that failed; for a task of a gang those of the gang
+	// Failures counts the runs that failed; for a task of a gang those of the gang
 	// in which this task or, before its latest start, any of them failed.
-	Fails int
+	Failures int
 	// Worker and Life are set in PhaseAssigned.
-	Worker WorkerID
-	Life   Life
-	// Saved is the latest checkpoint; empty for none.
-	Saved string
+	Worker      WorkerID
+	Incarnation Incarnation
+	// Checkpoint is the latest checkpoint; empty for none.
+	Checkpoint string
 }
 
 // StepState is what is known of a step of one occurrence.
 type StepState struct {
 	Tasks []TaskState
-	// Done counts the tasks in PhaseDone.
-	Done int
+	// DoneTasks counts the tasks in PhaseDone.
+	DoneTasks int
 }
 
 // Occurrence is one repetition of a job.
 type Occurrence struct {
 	Steps []StepState
-	// Done counts the steps whose tasks are all done.
-	Done int
+	// DoneSteps counts the steps whose tasks are all done.
+	DoneSteps int
 }
 
 // Status is the state of a job as submitters see it.
@@ -251,56 +251,56 @@
 	// Seq orders jobs by acceptance.
 	Seq    uint64
 	Status Status
-	// Started is set once a task has been assigned.
-	Started bool
-	// Ended is the time of the final status; 0 before.
-	Ended clock.Millis
+	// EverAssigned is set once a task has been assigned.
+	EverAssigned bool
+	// EndedAt is the time of the final status; 0 before.
+	EndedAt clock.Millis
 	// Occurrences has one entry for each repetition; one for a job that runs
 	// once.
 	Occurrences []Occurrence
-	// Done counts the occurrences whose steps are all done.
-	Done int
+	// DoneOccurrences counts the occurrences whose steps are all done.
+	DoneOccurrences int
 }
 
 // Wave is a declared maintenance of machines.
 type Wave struct {
 	Number   int
 	Machines []MachineID
-	// Cap bounds the machines that are down for the wave at a time.
-	Cap int
-	// Declared is the leader's time at acceptance; Deadline is later.
-	Declared clock.Millis
-	Deadline clock.Millis
+	// MaxDown bounds the machines that are down for the wave at a time.
+	MaxDown int
+	// DeclaredAt is the leader's time at acceptance; Deadline is later.
+	DeclaredAt clock.Millis
+	Deadline   clock.Millis
 	// Ordered holds the machines whose maintenance may have been ordered, and
 	// Begun those of them whose order was confirmed or that are gone.
 	Ordered map[MachineID]bool
-	Begun   map[MachineID]bool
+	Started map[MachineID]bool
 }
 
 // Completed reports whether the maintenance of every machine has begun.
-func (w *Wave) Completed() bool { return len(w.Begun) >= len(w.Machines) }
+func (w *Wave) Completed() bool { return len(w.Started) >= len(w.Machines) }
 
-// How says how a run ended.
-type How uint8
+// Result says how a run ended.
+type Result uint8
 
 // The ends of a run.
 const (
-	HowDone How = iota
-	// HowFailed counts as an attempt.
-	HowFailed
-	HowStopped
-	// HowLapsed: the worker's lease ran out.
-	HowLapsed
-	// HowRefused: the worker did not start the run.
-	HowRefused
-	// HowLost: the run did not reach the worker, or the worker is gone.
-	HowLost
+	ResultDone Result = iota
+	// ResultFailed counts as an attempt.
+	ResultFailed
+	ResultStopped
+	// ResultExpired: the worker's lease ran out.
+	ResultExpired
+	// ResultRefused: the worker did not start the run.
+	ResultRefused
+	// ResultLost: the run did not reach the worker, or the worker is gone.
+	ResultLost
 )
 
 var howNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
 
 // String returns the name used in logs.
-func (h How) String() string {
+func (h Result) String() string {
 	if int(h) >= len(howNames) {
 		return "unknown"
 	}
@@ -322,26 +322,26 @@
 	OpEnd
 	// OpConfig puts Config in force.
 	OpConfig
-	// OpWave declares Wave.
-	OpWave
-	// OpOrdered notes that the maintenance of Machine in wave Number may have
+	// OpDeclareWave declares Wave.
+	OpDeclareWave
+	// OpMaintenanceOrdered notes that the maintenance of Machine in wave Number may have
 	// been ordered.
-	OpOrdered
-	// OpBegun notes that the maintenance of Machine in wave Number has begun.
-	OpBegun
+	OpMaintenanceOrdered
+	// OpMaintenanceStarted notes that the maintenance of Machine in wave Number has begun.
+	OpMaintenanceStarted
 )
 
 // Op is one operation. The fields that belong to Kind are set.
 type Op struct {
-	Kind    OpKind
-	Task    Task
-	Run     int
-	Worker  WorkerID
-	Life    Life
-	How     How
-	Saved   string
-	Number  int
-	Machine MachineID
+	Kind        OpKind
+	Task        TaskID
+	Run         int
+	Worker      WorkerID
+	Incarnation Incarnation
+	Result      Result
+	Checkpoint  string
+	WaveNumber  int
+	Machine     MachineID
 	// Job, Config and Wave are nil unless Kind calls for them; they are not
 	// changed after the operation was made.
 	Job    *Job
