--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -22,12 +22,12 @@
 	failMost = 3
 )
 
-// Held is a loan that this process uses.
-type Held struct {
+// HeldLoan is a loan that this process uses.
+type HeldLoan struct {
 	Loan
 	Lender model.Process
-	// Until is the time from which no request starts.
-	Until clock.Millis
+	// UsableUntil is the time from which no request starts.
+	UsableUntil clock.Millis
 	// Running is the number of requests in flight; at most Slots.
 	Running int
 	// ended says that no request starts any more; it never goes back.
@@ -45,15 +45,15 @@
 	next, forget clock.Millis
 }
 
-// Name names the connections of the loan. They are apart from those of the
+// ConnectionName names the connections of the loan. They are apart from those of the
 // own share and of other loans, so that they can be closed with the loan.
-func (h *Held) Name() string {
+func (h *HeldLoan) ConnectionName() string {
 	return string(h.Instance) + "#" + strconv.FormatUint(uint64(h.ID), 16)
 }
 
 // purse is what a process borrows in one pool.
 type purse struct {
-	loans []*Held
+	loans []*HeldLoan
 	// pending is the number of slots asked for and not answered.
 	pending int
 	// since is the begin of the pressure; 0 without.
@@ -78,9 +78,9 @@
 	again clock.Millis
 }
 
-// Take reserves a slot of a held loan; ok is false when none has room. A loan
+// Acquire reserves a slot of a held loan; ok is false when none has room. A loan
 // of the instance to avoid is not taken.
-func (l *Ledger[P]) Take(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *Held, ok bool) {
+func (l *Ledger[P]) Acquire(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *HeldLoan, ok bool) {
 	s := l.pools[p]
 	if s == nil {
 		return nil, false
@@ -88,7 +88,7 @@
 	// The first with room is filled up, so that loans that are not needed
 	// become idle.
 	for _, h := range s.loans {
-		if h.ended || h.Running >= h.Slots || now >= h.Until || h.Instance == avoid {
+		if h.ended || h.Running >= h.Slots || now >= h.UsableUntil || h.Instance == avoid {
 			continue
 		}
 		h.Running++
@@ -99,9 +99,9 @@
 	return nil, false
 }
 
-// Put gives a slot back. failed says that the upstream failed, and unreached
+// Release gives a slot back. failed says that the upstream failed, and unreached
 // that no connection could be opened.
-func (l *Ledger[P]) Put(now clock.Millis, h *Held, failed, unreached bool) {
+func (l *Ledger[P]) Release(now clock.Millis, h *HeldLoan, failed, unreached bool) {
 	h.Running--
 	h.used = now
 	if !failed && !unreached {
@@ -117,12 +117,12 @@
 	}
 }
 
-// Room returns the slots of the loans held in a pool.
-func (l *Ledger[P]) Room(now clock.Millis, p model.Pool) int {
+// BorrowedSlots returns the slots of the loans held in a pool.
+func (l *Ledger[P]) BorrowedSlots(now clock.Millis, p model.Pool) int {
 	n := 0
 	if s := l.pools[p]; s != nil {
 		for _, h := range s.loans {
-			if !h.ended && now < h.Until {
+			if !h.ended && now < h.UsableUntil {
 				n += h.Slots
 			}
 		}
@@ -130,32 +130,32 @@
 	return n
 }
 
-// Each calls f for every loan held.
-func (l *Ledger[P]) Each(f func(*Held)) {
+// EachHeld calls f for every loan held.
+func (l *Ledger[P]) EachHeld(f func(*HeldLoan)) {
 	for _, h := range l.held {
 		f(h)
 	}
 }
 
-// Pools calls f for each pool in which this process has borrowed.
-func (l *Ledger[P]) Pools(f func(model.Pool)) {
+// EachPool calls f for each pool in which this process has borrowed.
+func (l *Ledger[P]) EachPool(f func(model.Pool)) {
 	for p := range l.pools {
 		f(p)
 	}
 }
 
-// Hope reports whether a process without own slots of the pool may get some:
+// MayBorrow reports whether a process without own slots of the pool may get some:
 // it holds loans, or a search has not yet ended without one.
-func (l *Ledger[P]) Hope(now clock.Millis, p model.Pool) bool {
-	if !l.On() {
+func (l *Ledger[P]) MayBorrow(now clock.Millis, p model.Pool) bool {
+	if !l.Enabled() {
 		return false
 	}
 	s := l.pools[p]
-	return s == nil || s.pending > 0 || now >= s.until || l.Room(now, p) > 0
+	return s == nil || s.pending > 0 || now >= s.until || l.BorrowedSlots(now, p) > 0
 }
 
-// EndInstance ends the loans of an instance that left the pool.
-func (l *Ledger[P]) EndInstance(i model.Instance) {
+// EndLoansOf ends the loans of an instance that left the pool.
+func (l *Ledger[P]) EndLoansOf(i model.Instance) {
 	for _, h := range l.held {
 		if h.Instance == i.ID && (i.Phase != model.PhaseServing || i.Pool != h.Pool) {
 			h.ended = true
@@ -163,9 +163,9 @@
 	}
 }
 
-// Recalled ends the loans of an earlier run of a lender, and reports whether
+// HandleRecall ends the loans of an earlier run of a lender, and reports whether
 // all of them are over, their connections included.
-func (l *Ledger[P]) Recalled(r Recall) (clear bool) {
+func (l *Ledger[P]) HandleRecall(r Recall) (clear bool) {
 	if from := l.lenders[r.Lender]; from != nil {
 		from.incarnation = r.Incarnation
 	}
@@ -178,11 +178,11 @@
 	return clear
 }
 
-// Answered takes in the answer to an ask that was sent at asked. Without an
+// HandleResponse takes in the answer to an ask that was sent at asked. Without an
 // answer, ok is false: the lender may have granted loans, which are then
 // returned unused.
-func (l *Ledger[P]) Answered(now clock.Millis, o Order, asked clock.Millis, a Answer, ok bool) {
-	to, s := l.lenders[o.To], l.purse(o.Ask.Pool)
+func (l *Ledger[P]) HandleResponse(now clock.Millis, o Message, asked clock.Millis, a LoanResponse, ok bool) {
+	to, s := l.lenders[o.To], l.purse(o.Request.Pool)
 	to.busy = false
 	if !ok {
 		to.again = now + retryAfter/2
@@ -190,19 +190,19 @@
 	// The answer of a run before the last recall is void as well.
 	void := !ok || to.incarnation != 0 && to.incarnation != a.Incarnation
 	end := asked + a.Lease - a.Lease/marginPart
-	for _, id := range o.Ask.Renew {
+	for _, id := range o.Request.Renew {
 		l.renewed(now, id, end, a, ok, void)
 	}
-	if o.Ask.Slots == 0 {
+	if o.Request.Slots == 0 {
 		return
 	}
-	s.pending -= o.Ask.Slots
+	s.pending -= o.Request.Slots
 	if void {
 		to.faulty = now + refusedFor
 		// It stands for the loans that may have been granted.
-		l.hold(&Held{
-			Loan: Loan{ID: askID(o.Ask.Number), Pool: o.Ask.Pool}, Lender: o.To, ended: true,
-			forget: now + l.cfg.Lease + l.cfg.Hold,
+		l.hold(&HeldLoan{
+			Loan: Loan{ID: askID(o.Request.Number), Pool: o.Request.Pool}, Lender: o.To, ended: true,
+			forget: now + l.cfg.Lease + l.cfg.MaxRequestTime,
 		})
 	}
 	if void || len(a.Loans) == 0 {
@@ -211,17 +211,17 @@
 		return
 	}
 	for _, loan := range a.Loans {
-		l.Counts.Taken++
-		l.hold(&Held{
-			Loan: loan, Lender: o.To, Until: end, used: now, lenderRun: a.Incarnation,
-			forget: now + a.Lease + l.cfg.Hold,
+		l.Counts.Received++
+		l.hold(&HeldLoan{
+			Loan: loan, Lender: o.To, UsableUntil: end, used: now, lenderRun: a.Incarnation,
+			forget: now + a.Lease + l.cfg.MaxRequestTime,
 		})
 	}
 }
 
 // renewed takes in what became of one renewal. An unanswered one changes
 // nothing: the loan holds until the end that is known.
-func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, a Answer, ok, void bool) {
+func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, a LoanResponse, ok, void bool) {
 	h := l.held[id]
 	if h == nil {
 		return
@@ -232,34 +232,34 @@
 	case void || !slices.Contains(a.Renewed, id):
 		h.ended = true
 	default:
-		h.Until = max(h.Until, end)
-		h.forget = max(h.forget, now+a.Lease+l.cfg.Hold)
+		h.UsableUntil = max(h.UsableUntil, end)
+		h.forget = max(h.forget, now+a.Lease+l.cfg.MaxRequestTime)
 	}
 }
 
-func (l *Ledger[P]) hold(h *Held) {
+func (l *Ledger[P]) hold(h *HeldLoan) {
 	l.held[h.ID] = h
 	if h.Slots == 0 {
 		return
 	}
 	s := l.purse(h.Pool)
 	s.loans = append(s.loans, h)
-	l.Counts.Held += int64(h.Slots)
+	l.Counts.HeldSlots += int64(h.Slots)
 }
 
 // drop forgets a loan that was returned, or that the lender has given up.
-func (l *Ledger[P]) drop(h *Held) {
+func (l *Ledger[P]) drop(h *HeldLoan) {
 	delete(l.held, h.ID)
 	s := l.purse(h.Pool)
 	if i := slices.Index(s.loans, h); i >= 0 {
 		s.loans = slices.Delete(s.loans, i, i+1)
-		l.Counts.Held -= int64(h.Slots)
+		l.Counts.HeldSlots -= int64(h.Slots)
 	}
 }
 
-// Returned notes that the lender has taken loans back; ok is false without an
+// HandleReturnResult notes that the lender has taken loans back; ok is false without an
 // answer.
-func (l *Ledger[P]) Returned(o Order, ok bool) {
+func (l *Ledger[P]) HandleReturnResult(o Message, ok bool) {
 	l.lenders[o.To].busy = false
 	for _, id := range o.Return.IDs {
 		if h := l.held[id]; h != nil && ok {
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -38,7 +38,7 @@
 	unheard    map[model.Process]clock.Millis
 	quarantine clock.Millis
 
-	held   map[ID]*Held
+	held   map[ID]*HeldLoan
 	pools  map[model.Pool]*purse
 	number uint64
 	// lenders is the state of other processes as lenders.
@@ -52,7 +52,7 @@
 		given: map[key]given{}, lent: map[model.InstanceID]int{},
 		starved: map[starving]clock.Millis{},
 		unheard: map[model.Process]clock.Millis{},
-		held:    map[ID]*Held{}, pools: map[model.Pool]*purse{},
+		held:    map[ID]*HeldLoan{}, pools: map[model.Pool]*purse{},
 		lenders: map[model.Process]*lender{},
 	}
 	for _, m := range cfg.Entries {
@@ -64,12 +64,12 @@
 			l.unheard[m.Name] = 0
 		}
 	}
-	l.quarantine = now + cfg.Lease + cfg.Hold
+	l.quarantine = now + cfg.Lease + cfg.MaxRequestTime
 	return l
 }
 
-// On reports whether lending is turned on.
-func (l *Ledger[P]) On() bool { return l.cfg.Lease > 0 }
+// Enabled reports whether lending is turned on.
+func (l *Ledger[P]) Enabled() bool { return l.cfg.Lease > 0 }
 
 // Quarantined reports whether loans of an earlier run of this process may be
 // in use: its lendable slots must then stay unused, and it must confirm no
@@ -81,15 +81,15 @@
 	return len(l.unheard) > 0
 }
 
-// Acknowledged notes that a process holds no loan of an earlier run.
-func (l *Ledger[P]) Acknowledged(from model.Process) { delete(l.unheard, from) }
+// HandleRecallAck notes that a process holds no loan of an earlier run.
+func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.unheard, from) }
 
 // Lent returns the slots of an own upstream that are lent.
 func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lent[id] }
 
-// Changed calls f for each instance whose lent slots changed since the last
+// TakeChanges calls f for each instance whose lent slots changed since the last
 // call.
-func (l *Ledger[P]) Changed(f func(id model.InstanceID, lent int)) {
+func (l *Ledger[P]) TakeChanges(f func(id model.InstanceID, lent int)) {
 	for _, id := range l.changed {
 		f(id, l.lent[id])
 	}
@@ -98,12 +98,12 @@
 
 // Grant answers an ask. stocks lists the upstreams of the pool that may be lent,
 // each once; find returns one upstream, false when it is not routable.
-func (l *Ledger[P]) Grant(now clock.Millis, a Ask, stocks []Stock, find func(model.InstanceID) (Stock, bool)) Answer {
-	out := Answer{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
-	if !l.On() || l.Quarantined(now) {
+func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
+	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
+	if !l.Enabled() || l.Quarantined(now) {
 		return out
 	}
-	until := now + l.cfg.Lease + max(l.cfg.Hold, a.Hold)
+	until := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, a.MaxRequestTime)
 	p := l.divide(now, a, stocks)
 	for _, id := range a.Renew {
 		k := key{a.Borrower, a.Incarnation, id}
@@ -138,7 +138,7 @@
 
 // renew moves the end of a loan on, unless its upstream is no longer the one
 // that was lent or own requests need the slots.
-func (l *Ledger[P]) renew(k key, until clock.Millis, find func(model.InstanceID) (Stock, bool)) bool {
+func (l *Ledger[P]) renew(k key, until clock.Millis, find func(model.InstanceID) (UpstreamSlots, bool)) bool {
 	g, ok := l.given[k]
 	if !ok {
 		return false
@@ -153,7 +153,7 @@
 	return true
 }
 
-func (l *Ledger[P]) give(a Ask, s Stock, want, part int, until clock.Millis) (Loan, bool) {
+func (l *Ledger[P]) give(a LoanRequest, s UpstreamSlots, want, part int, until clock.Millis) (Loan, bool) {
 	s.Lent = l.lent[s.Instance]
 	n := min(l.policy.Give(s), s.Lendable-s.Lent, s.Slots-s.Running-s.Lent, want)
 	k := key{a.Borrower, a.Incarnation, askID(a.Number) + ID(part)}
@@ -161,25 +161,25 @@
 		return Loan{}, false
 	}
 	loan := s.Loan
-	loan.ID, loan.Slots, loan.Connections = k.id, n, n*s.PerSlot
+	loan.ID, loan.Slots, loan.Connections = k.id, n, n*s.ConnectionsPerSlot
 	l.given[k] = given{loan: loan, until: until}
 	l.add(loan.Instance, n)
-	l.Counts.Given++
+	l.Counts.Granted++
 	return loan, true
 }
 
 func (l *Ledger[P]) add(id model.InstanceID, n int) {
 	l.lent[id] += n
-	l.Counts.Lent += int64(n)
+	l.Counts.LentSlots += int64(n)
 	if l.lent[id] == 0 {
 		delete(l.lent, id)
 	}
 	l.changed = append(l.changed, id)
 }
 
-// TakeBack takes returned loans in. Unknown ones are ignored: they were
+// HandleReturn takes returned loans in. Unknown ones are ignored: they were
 // returned before, or their time has passed.
-func (l *Ledger[P]) TakeBack(r Return) {
+func (l *Ledger[P]) HandleReturn(r Return) {
 	for _, id := range r.IDs {
 		if id&(1<<partBits-1) != 0 {
 			l.end(key{r.Borrower, r.Incarnation, id})
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -31,17 +31,17 @@
 		p    Pressure
 		want int
 	}{
-		{Pressure{Room: 4, Lasting: clock.Second}, 0},
-		{Pressure{Waiting: 9, Room: 4, Typical: 50, Lasting: 50}, 0},
-		{Pressure{Waiting: 2, Room: 4, Typical: 50, Lasting: 100}, 0},
-		{Pressure{Waiting: 12, Room: 4, Typical: 50, Lasting: 100}, 10},
-		{Pressure{Waiting: 2, Room: 20, Typical: 1000, Lasting: 100}, 0},
+		{Pressure{Capacity: 4, Duration: clock.Second}, 0},
+		{Pressure{Waiting: 9, Capacity: 4, TypicalRunTime: 50, Duration: 50}, 0},
+		{Pressure{Waiting: 2, Capacity: 4, TypicalRunTime: 50, Duration: 100}, 0},
+		{Pressure{Waiting: 12, Capacity: 4, TypicalRunTime: 50, Duration: 100}, 10},
+		{Pressure{Waiting: 2, Capacity: 20, TypicalRunTime: 1000, Duration: 100}, 0},
 		{Pressure{Waiting: 3}, 3},
-		{Pressure{Waiting: 900, Typical: clock.Second}, maxSlots},
+		{Pressure{Waiting: 900, TypicalRunTime: clock.Second}, maxSlots},
 	} {
 		assert.Equal(t, Idle{}.Want(c.p), c.want, "%+v", c.p)
 	}
-	s := Stock{Loan: Loan{Slots: 4}, Lendable: 3, Peak: 2}
+	s := UpstreamSlots{Loan: Loan{Slots: 4}, Lendable: 3, PeakRunning: 2}
 	assert.Equal(t, Idle{}.Give(s), 2)
 	s.Lent = 1
 	assert.Equal(t, Idle{}.Give(s), 1)
@@ -51,19 +51,19 @@
 
 func ledger() *Ledger[Idle] {
 	return New(Settings{
-		Self: "b", Zone: "z2", Incarnation: 7, Lease: 1000, Hold: 5000,
+		Self: "b", Zone: "z2", Incarnation: 7, Lease: 1000, MaxRequestTime: 5000,
 		Entries: []model.Member{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z2"}},
 	}, Idle{}, 0)
 }
 
-var need = []Need{{Pool: "p", Zones: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
+var need = []PoolDemand{{Pool: "p", InstancesByZone: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
 
 // plan returns the one order other than recalls.
-func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []Need) Order {
+func plan(t *testing.T, l *Ledger[Idle], now clock.Millis, needs []PoolDemand) Message {
 	t.Helper()
-	var due []Order
-	for _, o := range l.Plan(now, needs, nil) {
-		if o.Kind != OrderRecall {
+	var due []Message
+	for _, o := range l.DueMessages(now, needs, nil) {
+		if o.Kind != MessageRecall {
 			due = append(due, o)
 		}
 	}
@@ -71,8 +71,8 @@
 	return due[0]
 }
 
-func answer(run uint64, o Order) Answer {
-	return Answer{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Ask.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
+func answer(run uint64, o Message) LoanResponse {
+	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Request.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
 // Guards against use after the lease, which counts from the ask, and against a
@@ -80,21 +80,21 @@
 func TestLeaseCountsFromTheAsk(t *testing.T) {
 	l := ledger()
 	o := plan(t, l, 100, need)
-	l.Answered(400, o, 100, answer(1, o), true)
-	h, ok := l.Take(999, "p", "")
+	l.HandleResponse(400, o, 100, answer(1, o), true)
+	h, ok := l.Acquire(999, "p", "")
 	assert.Assert(t, ok)
-	_, ok = l.Take(1000, "p", "")
+	_, ok = l.Acquire(1000, "p", "")
 	assert.Assert(t, !ok)
 	o = plan(t, l, 600, nil)
-	assert.DeepEqual(t, o.Ask.Renew, []ID{h.ID})
-	l.Answered(620, o, 600, Answer{Incarnation: 1, Lease: 1000, Renewed: o.Ask.Renew}, true)
-	assert.Equal(t, l.Room(1499, "p"), 2)
-	l.Put(700, h, false, false)
+	assert.DeepEqual(t, o.Request.Renew, []ID{h.ID})
+	l.HandleResponse(620, o, 600, LoanResponse{Incarnation: 1, Lease: 1000, Renewed: o.Request.Renew}, true)
+	assert.Equal(t, l.BorrowedSlots(1499, "p"), 2)
+	l.Release(700, h, false, false)
 	o = plan(t, l, 1700, nil)
 	assert.DeepEqual(t, o.Return.IDs, []ID{h.ID})
-	assert.DeepEqual(t, o.Close, []string{h.Name()})
-	l.Returned(o, true)
-	assert.Equal(t, l.Counts.Held, int64(0))
+	assert.DeepEqual(t, o.CloseConnections, []string{h.ConnectionName()})
+	l.HandleReturnResult(o, true)
+	assert.Equal(t, l.Counts.HeldSlots, int64(0))
 }
 
 // Guards against loans of a lender's earlier run whose answer came after its
@@ -102,16 +102,16 @@
 func TestVoidAnswers(t *testing.T) {
 	l := ledger()
 	o := plan(t, l, 100, need)
-	assert.Assert(t, l.Recalled(Recall{Lender: "a", Incarnation: 2}))
-	l.Answered(150, o, 100, answer(1, o), true)
-	assert.Equal(t, l.Room(150, "p"), 0)
-	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Ask.Number)})
+	assert.Assert(t, l.HandleRecall(Recall{Lender: "a", Incarnation: 2}))
+	l.HandleResponse(150, o, 100, answer(1, o), true)
+	assert.Equal(t, l.BorrowedSlots(150, "p"), 0)
+	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Request.Number)})
 
-	a := New(Settings{Self: "a", Lease: 1000, Hold: 5000}, Idle{}, 0)
-	granted := a.Grant(0, o.Ask, []Stock{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, PerSlot: 2}}, nil)
+	a := New(Settings{Self: "a", Lease: 1000, MaxRequestTime: 5000}, Idle{}, 0)
+	granted := a.Grant(0, o.Request, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, ConnectionsPerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
-	a.TakeBack(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Ask.Number)}})
+	a.HandleReturn(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Request.Number)}})
 	assert.Equal(t, a.Lent("i"), 0)
 }
 
@@ -119,9 +119,9 @@
 func TestHopeEndsWhenAllRefuse(t *testing.T) {
 	l := ledger()
 	o := plan(t, l, 100, need)
-	assert.Assert(t, l.Hope(120, "p"))
-	l.Answered(120, o, 100, Answer{Incarnation: 1, Lease: 1000}, true)
-	l.Plan(150, need, nil)
-	assert.Assert(t, !l.Hope(160, "p"))
-	assert.Assert(t, l.Hope(1150, "p"))
+	assert.Assert(t, l.MayBorrow(120, "p"))
+	l.HandleResponse(120, o, 100, LoanResponse{Incarnation: 1, Lease: 1000}, true)
+	l.DueMessages(150, need, nil)
+	assert.Assert(t, !l.MayBorrow(160, "p"))
+	assert.Assert(t, l.MayBorrow(1150, "p"))
 }
--- a/core/state/lend/plan.go
+++ b/core/state/lend/plan.go
@@ -7,11 +7,11 @@
 	"camphorridge/core/state/model"
 )
 
-// Plan appends the messages that are due: asks for the pools in need, each once,
+// DueMessages appends the messages that are due: asks for the pools in need, each once,
 // renewals, returns and recalls. At most one ask or return is under way to a
 // process.
-func (l *Ledger[P]) Plan(now clock.Millis, needs []Need, buf []Order) []Order {
-	if !l.On() {
+func (l *Ledger[P]) DueMessages(now clock.Millis, needs []PoolDemand, buf []Message) []Message {
+	if !l.Enabled() {
 		return buf
 	}
 	buf = l.recalls(now, buf)
@@ -19,7 +19,7 @@
 	buf = l.returns(now, buf)
 	buf = l.renewals(now, buf)
 	for p, s := range l.pools {
-		if !slices.ContainsFunc(needs, func(n Need) bool { return n.Pool == p }) {
+		if !slices.ContainsFunc(needs, func(n PoolDemand) bool { return n.Pool == p }) {
 			s.since = 0
 		}
 	}
@@ -29,7 +29,7 @@
 	return buf
 }
 
-func (l *Ledger[P]) recalls(now clock.Millis, buf []Order) []Order {
+func (l *Ledger[P]) recalls(now clock.Millis, buf []Message) []Message {
 	if !l.Quarantined(now) {
 		return buf
 	}
@@ -38,8 +38,8 @@
 			continue
 		}
 		l.unheard[p] = now + retryAfter
-		buf = append(buf, Order{
-			Kind: OrderRecall, To: p, Recall: Recall{Lender: l.cfg.Self, Incarnation: l.cfg.Incarnation},
+		buf = append(buf, Message{
+			Kind: MessageRecall, To: p, Recall: Recall{Lender: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 		})
 	}
 	return buf
@@ -49,7 +49,7 @@
 // their lenders have given up.
 func (l *Ledger[P]) age(now clock.Millis) {
 	for _, h := range l.held {
-		if now >= h.Until || h.Running == 0 && !l.policy.Keep(now-h.used, l.cfg.Lease) {
+		if now >= h.UsableUntil || h.Running == 0 && !l.policy.Keep(now-h.used, l.cfg.Lease) {
 			h.ended = true
 		}
 		if h.ended && h.Running == 0 && now >= h.forget {
@@ -58,9 +58,9 @@
 	}
 }
 
-// Leave ends all loans held and returns the orders that give back those without
+// ReturnAll ends all loans held and returns the orders that give back those without
 // a request.
-func (l *Ledger[P]) Leave(now clock.Millis) []Order {
+func (l *Ledger[P]) ReturnAll(now clock.Millis) []Message {
 	for _, to := range l.lenders {
 		to.busy, to.again = false, 0
 	}
@@ -70,7 +70,7 @@
 	return l.returns(now, nil)
 }
 
-func (l *Ledger[P]) returns(now clock.Millis, buf []Order) []Order {
+func (l *Ledger[P]) returns(now clock.Millis, buf []Message) []Message {
 	at := map[model.Process]int{}
 	for _, h := range l.held {
 		if !h.ended || h.Running > 0 || h.asked || now < h.next {
@@ -85,24 +85,24 @@
 			to.busy = true
 			i = len(buf)
 			at[h.Lender] = i
-			buf = append(buf, Order{
-				Kind: OrderReturn, To: h.Lender,
+			buf = append(buf, Message{
+				Kind: MessageReturn, To: h.Lender,
 				Return: Return{Borrower: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 			})
 		}
 		h.next = now + retryAfter
 		buf[i].Return.IDs = append(buf[i].Return.IDs, h.ID)
 		if h.Slots > 0 {
-			buf[i].Close = append(buf[i].Close, h.Name())
+			buf[i].CloseConnections = append(buf[i].CloseConnections, h.ConnectionName())
 		}
 	}
 	return buf
 }
 
-func (l *Ledger[P]) renewals(now clock.Millis, buf []Order) []Order {
+func (l *Ledger[P]) renewals(now clock.Millis, buf []Message) []Message {
 	at := map[model.Process]int{}
 	for _, h := range l.held {
-		if h.ended || h.asked || h.Until-now > l.cfg.Lease/2 {
+		if h.ended || h.asked || h.UsableUntil-now > l.cfg.Lease/2 {
 			continue
 		}
 		i, begun := at[h.Lender]
@@ -114,34 +114,34 @@
 			to.busy = true
 			i = len(buf)
 			at[h.Lender] = i
-			buf = append(buf, Order{Kind: OrderAsk, To: h.Lender, Ask: l.newAsk(h.Pool, 0)})
+			buf = append(buf, Message{Kind: MessageRequest, To: h.Lender, Request: l.newAsk(h.Pool, 0)})
 		}
 		h.asked = true
-		buf[i].Ask.Renew = append(buf[i].Ask.Renew, h.ID)
+		buf[i].Request.Renew = append(buf[i].Request.Renew, h.ID)
 	}
 	return buf
 }
 
-func (l *Ledger[P]) newAsk(p model.Pool, slots int) Ask {
+func (l *Ledger[P]) newAsk(p model.Pool, slots int) LoanRequest {
 	l.number++
-	return Ask{
+	return LoanRequest{
 		Borrower: l.cfg.Self, Incarnation: l.cfg.Incarnation, Number: l.number,
-		Pool: p, Slots: slots, Hold: l.cfg.Hold,
+		Pool: p, Slots: slots, MaxRequestTime: l.cfg.MaxRequestTime,
 	}
 }
 
 // ask asks one lender for what the pool needs beyond the asks under way.
-func (l *Ledger[P]) ask(now clock.Millis, n Need, buf []Order) []Order {
+func (l *Ledger[P]) ask(now clock.Millis, n PoolDemand, buf []Message) []Message {
 	s := l.purse(n.Pool)
 	if s.since == 0 {
 		s.since = now
 	}
-	n.Lasting = now - s.since
+	n.Duration = now - s.since
 	want := l.policy.Want(n.Pressure) - s.pending
 	if want <= 0 || len(l.held) >= maxLoans {
 		return buf
 	}
-	to, none := l.choose(now, s, n.Zones)
+	to, none := l.choose(now, s, n.InstancesByZone)
 	if none && s.pending == 0 {
 		s.until = now + refusedFor
 	}
@@ -151,8 +151,8 @@
 	to.busy = true
 	want = min(want, maxSlots)
 	s.pending += want
-	l.Counts.Asked++
-	return append(buf, Order{Kind: OrderAsk, To: to.member.Name, Ask: l.newAsk(n.Pool, want)})
+	l.Counts.Requested++
+	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Request: l.newAsk(n.Pool, want)})
 }
 
 // choose returns the process to ask: one of the own zone if any, and among
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -6,23 +6,23 @@
 type Pressure struct {
 	// Waiting is the number of waiters whose customers may run now.
 	Waiting int
-	// Room is the number of requests that own and held slots run at once.
-	Room int
-	// Typical is the smoothed run time; 0 when it is not known.
-	Typical clock.Millis
-	// Lasting is how long there have been such waiters without a break.
-	Lasting clock.Millis
+	// Capacity is the number of requests that own and held slots run at once.
+	Capacity int
+	// TypicalRunTime is the smoothed run time; 0 when it is not known.
+	TypicalRunTime clock.Millis
+	// Duration is how long there have been such waiters without a break.
+	Duration clock.Millis
 }
 
-// Stock is the state of an upstream in a process that may lend its slots.
-type Stock struct {
+// UpstreamSlots is the state of an upstream in a process that may lend its slots.
+type UpstreamSlots struct {
 	Loan
 	// Slots of the Loan is this process's share; Lendable is the part of it
 	// that may be lent, and PerSlot the connections that go with a lent slot.
-	Lendable int
-	PerSlot  int
-	// Peak is the largest number of own requests at once in the last seconds.
-	Peak int
+	Lendable           int
+	ConnectionsPerSlot int
+	// PeakRunning is the largest number of own requests at once in the last seconds.
+	PeakRunning int
 	// Running is the number of own requests in flight; at most Peak.
 	Running int
 	// Lent is the number of slots lent already.
@@ -36,7 +36,7 @@
 	// Want returns the slots to ask for.
 	Want(p Pressure) int
 	// Give returns the slots to lend, at most Lendable-Lent.
-	Give(s Stock) int
+	Give(s UpstreamSlots) int
 	// Keep reports whether a held loan that was unused for a time is kept.
 	Keep(idle, lease clock.Millis) bool
 }
@@ -48,7 +48,7 @@
 func (Never) Want(Pressure) int { return 0 }
 
 // Give returns 0.
-func (Never) Give(Stock) int { return 0 }
+func (Never) Give(UpstreamSlots) int { return 0 }
 
 // Keep returns false.
 func (Never) Keep(clock.Millis, clock.Millis) bool { return false }
@@ -71,24 +71,24 @@
 
 // Want returns one slot for each waiter that own slots do not start in time.
 func (Idle) Want(p Pressure) int {
-	if p.Room > 0 && p.Lasting < lasting {
+	if p.Capacity > 0 && p.Duration < lasting {
 		return 0
 	}
-	run := p.Typical
+	run := p.TypicalRunTime
 	if run <= 0 {
 		run = guess
 	}
-	inTime := p.Room * int(min(run/2, patience)) / int(run)
+	inTime := p.Capacity * int(min(run/2, patience)) / int(run)
 	return min(max(p.Waiting-inTime, 0), maxSlots)
 }
 
 // Give returns the idle slots above the reserve; nothing while own requests
 // wait.
-func (Idle) Give(s Stock) int {
+func (Idle) Give(s UpstreamSlots) int {
 	if s.Waiting > 0 {
 		return 0
 	}
-	return min(s.Lendable, s.Slots-s.Peak) - s.Lent
+	return min(s.Lendable, s.Slots-s.PeakRunning) - s.Lent
 }
 
 // Keep gives a loan back that was idle for one lease, so that a short pause
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -37,8 +37,8 @@
 	Connections int
 }
 
-// Ask asks for new loans in a pool, for the renewal of held ones, or both.
-type Ask struct {
+// LoanRequest asks for new loans in a pool, for the renewal of held ones, or both.
+type LoanRequest struct {
 	Borrower model.Process
 	// Incarnation tells two runs of the borrower apart.
 	Incarnation uint64
@@ -47,12 +47,12 @@
 	// Slots is the number wanted; 0 asks for renewals only.
 	Slots int
 	Renew []ID
-	// Hold is the longest time that a request of the borrower lasts.
-	Hold clock.Millis
+	// MaxRequestTime is the longest time that a request of the borrower lasts.
+	MaxRequestTime clock.Millis
 }
 
-// Answer is what the lender grants.
-type Answer struct {
+// LoanResponse is what the lender grants.
+type LoanResponse struct {
 	// Incarnation tells two runs of the lender apart.
 	Incarnation uint64
 	// Lease is how long the loans hold from the time of the ask.
@@ -77,26 +77,26 @@
 	Incarnation uint64
 }
 
-// OrderKind tells the orders apart.
-type OrderKind int
+// MessageKind tells the orders apart.
+type MessageKind int
 
 // The kinds of order.
 const (
-	OrderAsk OrderKind = iota
-	OrderReturn
-	OrderRecall
+	MessageRequest MessageKind = iota
+	MessageReturn
+	MessageRecall
 )
 
-// Order is a message that the ledger wants to be sent. Its result is told by
+// Message is a message that the ledger wants to be sent. Its result is told by
 // Answered, Returned or Acknowledged.
-type Order struct {
-	Kind   OrderKind
-	To     model.Process
-	Ask    Ask
-	Return Return
-	Recall Recall
-	// Close names the connections to be closed before the message is sent.
-	Close []string
+type Message struct {
+	Kind    MessageKind
+	To      model.Process
+	Request LoanRequest
+	Return  Return
+	Recall  Recall
+	// CloseConnections names the connections to be closed before the message is sent.
+	CloseConnections []string
 }
 
 // Settings of a ledger.
@@ -110,28 +110,28 @@
 	// Lease is the length of a lease; 0 turns lending off. It must not be
 	// lowered while loans of a run before are out.
 	Lease clock.Millis
-	// Hold is the longest time that a request lasts.
-	Hold clock.Millis
+	// MaxRequestTime is the longest time that a request lasts.
+	MaxRequestTime clock.Millis
 	// ReservePercent is the part of the own slots that is never lent.
 	ReservePercent int
 }
 
 // Counts are the counters of a ledger; all but Lent and Held only grow.
 type Counts struct {
-	// Asked is the number of asks sent, Refused those that brought no loan.
-	Asked, Refused int64
-	// Given and Taken are loans, Expired those given that were not returned.
-	Given, Taken, Expired int64
+	// Requested is the number of asks sent, Refused those that brought no loan.
+	Requested, Refused int64
+	// Granted and Received are loans, Expired those given that were not returned.
+	Granted, Received, Expired int64
 	// Used is the number of requests that ran on loans.
 	Used int64
-	// Lent and Held are slots at present.
-	Lent, Held int64
+	// LentSlots and HeldSlots are slots at present.
+	LentSlots, HeldSlots int64
 }
 
-// Need is a pool with waiters that may run.
-type Need struct {
+// PoolDemand is a pool with waiters that may run.
+type PoolDemand struct {
 	Pool model.Pool
 	Pressure
-	// Zones counts the serving instances of the pool in each zone.
-	Zones map[model.Zone]int
+	// InstancesByZone counts the serving instances of the pool in each zone.
+	InstancesByZone map[model.Zone]int
 }
--- a/core/state/lend/world_test.go
+++ b/core/state/lend/world_test.go
@@ -23,13 +23,13 @@
 // does not rest on the policy.
 type eager struct{ lend.Idle }
 
-func (eager) Want(p lend.Pressure) int { return p.Waiting }
-func (eager) Give(s lend.Stock) int    { return s.Lendable }
+func (eager) Want(p lend.Pressure) int      { return p.Waiting }
+func (eager) Give(s lend.UpstreamSlots) int { return s.Lendable }
 
 // run is a request in flight.
 type run struct {
-	held route.Held
-	loan *lend.Held
+	held route.Reservation
+	loan *lend.HeldLoan
 	id   model.InstanceID
 	ends clock.Millis
 }
@@ -50,9 +50,9 @@
 type message struct {
 	from, to      *proc
 	number        uint64
-	order         lend.Order
+	order         lend.Message
 	asked         clock.Millis
-	answer        lend.Answer
+	answer        lend.LoanResponse
 	clear         bool
 	replied, lost bool
 }
@@ -107,7 +107,7 @@
 	p.runs = nil
 	p.ledger = lend.New(lend.Settings{
 		Self: p.member.Name, Zone: p.member.Zone, Entries: all, Incarnation: p.number,
-		Lease: lease, Hold: hold, ReservePercent: 25,
+		Lease: lease, MaxRequestTime: hold, ReservePercent: 25,
 	}, eager{}, w.at(p))
 	rank := int(p.member.Name[1] - '1')
 	p.router = route.New(route.Settings{Zone: p.member.Zone, Rank: rank, Count: 2, Lending: true, ReservePercent: 25}, route.LeastLoaded{})
@@ -115,7 +115,7 @@
 	w.read(p)
 	for _, i := range w.table {
 		if p.member.Zone == i.Zone {
-			p.router.SetMember(w.at(p), model.Announcement{
+			p.router.SetAnnouncement(w.at(p), model.Announcement{
 				Instance: i.ID, Zone: i.Zone, Pool: "p", Address: "10.0.0.1:1", Slots: slots, Connections: 64, Incarnation: 1,
 			}, true)
 		}
@@ -133,14 +133,14 @@
 	for _, i := range w.table {
 		if i.Version > before {
 			p.router.SetInstance(w.at(p), i, before)
-			p.ledger.EndInstance(i)
+			p.ledger.EndLoansOf(i)
 		}
 	}
 }
 
 func (w *world) sync(p *proc) {
-	p.router.Quarantine = p.ledger.Quarantined(w.at(p))
-	p.ledger.Changed(func(id model.InstanceID, n int) { p.router.SetLent(id, n) })
+	p.router.LoansUncertain = p.ledger.Quarantined(w.at(p))
+	p.ledger.TakeChanges(func(id model.InstanceID, n int) { p.router.SetLent(id, n) })
 }
 
 func (w *world) proc() *proc { return w.procs[w.rng.IntN(len(w.procs))] }
@@ -172,7 +172,7 @@
 	r := p.runs[i]
 	p.runs = append(p.runs[:i], p.runs[i+1:]...)
 	if r.loan != nil {
-		p.ledger.Put(w.at(p), r.loan, false, false)
+		p.ledger.Release(w.at(p), r.loan, false, false)
 		return
 	}
 	p.router.End(w.at(p), r.held, route.OutcomeOK)
@@ -184,9 +184,9 @@
 	w.sync(p)
 	for range 1 + w.rng.IntN(8) {
 		r := run{ends: w.now + clock.Millis(1+w.rng.IntN(int(hold)))}
-		if h, ok := p.router.Pick(w.at(p), "p", ""); ok {
+		if h, ok := p.router.Reserve(w.at(p), "p", ""); ok {
 			r.held, r.id = h, h.Upstream.Instance
-		} else if l, ok := p.ledger.Take(w.at(p), "p", ""); ok {
+		} else if l, ok := p.ledger.Acquire(w.at(p), "p", ""); ok {
 			r.loan, r.id = l, l.Instance
 		} else {
 			return
@@ -209,8 +209,8 @@
 	p := w.proc()
 	p.ledger.Expire(w.at(p))
 	w.sync(p)
-	need := lend.Need{Pool: "p", Zones: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: w.rng.IntN(10)}}
-	for _, o := range p.ledger.Plan(w.at(p), []lend.Need{need}, nil) {
+	need := lend.PoolDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: w.rng.IntN(10)}}
+	for _, o := range p.ledger.DueMessages(w.at(p), []lend.PoolDemand{need}, nil) {
 		w.net = append(w.net, &message{from: p, to: w.find(o.To), number: p.number, order: o, asked: w.at(p)})
 	}
 }
@@ -242,14 +242,14 @@
 func (w *world) arrive(m *message) {
 	now := w.at(m.to)
 	switch m.order.Kind {
-	case lend.OrderAsk:
-		m.answer = m.to.ledger.Grant(now, m.order.Ask, m.to.router.Stocks(now, "p", 0, nil), func(id model.InstanceID) (lend.Stock, bool) {
-			return m.to.router.Stock(id, func(model.Pool) int { return 0 })
+	case lend.MessageRequest:
+		m.answer = m.to.ledger.Grant(now, m.order.Request, m.to.router.PoolUpstreamSlots(now, "p", 0, nil), func(id model.InstanceID) (lend.UpstreamSlots, bool) {
+			return m.to.router.UpstreamSlots(id, func(model.Pool) int { return 0 })
 		})
-	case lend.OrderReturn:
-		m.to.ledger.TakeBack(m.order.Return)
-	case lend.OrderRecall:
-		m.clear = m.to.ledger.Recalled(m.order.Recall)
+	case lend.MessageReturn:
+		m.to.ledger.HandleReturn(m.order.Return)
+	case lend.MessageRecall:
+		m.clear = m.to.ledger.HandleRecall(m.order.Recall)
 	}
 	w.sync(m.to)
 }
@@ -261,18 +261,18 @@
 	}
 	l := m.from.ledger
 	switch m.order.Kind {
-	case lend.OrderAsk:
-		l.Answered(w.at(m.from), m.order, m.asked, m.answer, ok)
+	case lend.MessageRequest:
+		l.HandleResponse(w.at(m.from), m.order, m.asked, m.answer, ok)
 		for _, i := range w.table {
 			if i.Version <= m.from.version {
-				l.EndInstance(i)
+				l.EndLoansOf(i)
 			}
 		}
-	case lend.OrderReturn:
-		l.Returned(m.order, ok)
-	case lend.OrderRecall:
+	case lend.MessageReturn:
+		l.HandleReturnResult(m.order, ok)
+	case lend.MessageRecall:
 		if ok && m.clear {
-			l.Acknowledged(m.to.member.Name)
+			l.HandleRecallAck(m.to.member.Name)
 		}
 	}
 	w.sync(m.from)
@@ -320,7 +320,7 @@
 		}
 		all := true
 		for _, p := range w.procs[:2] {
-			if p.router.Drained() >= i.Version {
+			if p.router.DrainedVersion() >= i.Version {
 				w.confirmed[i.ID][p] = true
 			}
 			all = all && w.confirmed[i.ID][p]
@@ -339,7 +339,7 @@
 		for _, p := range w.procs {
 			// No process has run before.
 			for _, o := range w.procs {
-				p.ledger.Acknowledged(o.member.Name)
+				p.ledger.HandleRecallAck(o.member.Name)
 			}
 			w.sync(p)
 		}
--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -12,7 +12,7 @@
 // those of declarations and that of the periodic goal. In pools that the
 // customer shares with another one, the budget of either bounds maintenance,
 // so the other's deadlines are stated too.
-func shortMaintenance(set Settings, q Question) []Shortfall {
+func shortMaintenance(set Settings, q Input) []Shortfall {
 	var out []Shortfall
 	own := poolsOf(q.Contract)
 	for _, m := range q.Declarations {
@@ -25,7 +25,7 @@
 		}
 	}
 	if set.PeriodMillis > 0 {
-		n := Promised(q.Contract) + q.Contract.Spare
+		n := PromisedInstances(q.Contract) + q.Contract.Spare
 		out = append(out, shortDeadline(set, q, q.Contract, "periodic maintenance", n, set.PeriodMillis)...)
 	}
 	return out
@@ -47,27 +47,27 @@
 func countDue(f Fleet, m model.Maintenance, pools map[model.Pool]bool) int {
 	n := 0
 	for _, i := range f.Instances {
-		if pools[i.Pool] && m.Selector.Matches(i) && i.Maintained < m.Declared {
+		if pools[i.Pool] && m.Selector.Matches(i) && i.MaintainedAt < m.DeclaredAt {
 			n++
 		}
 	}
 	return n
 }
 
-func shortDeadline(set Settings, q Question, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
+func shortDeadline(set Settings, q Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
 	if have := byWidth(set, q.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
-			Kind: ShortWidth, Subject: name, Need: int64(n), Have: have,
+			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
-				name, n, left, c.MaxUnavailable, set.MaintainMillis, have),
+				name, n, left, c.MaxUnavailable, set.MaintenanceMillis, have),
 		})
 	}
 	if have := byBudget(set, c, left); int64(n) > have {
 		out = append(out, Shortfall{
-			Kind: ShortBudget, Subject: name, Need: int64(n), Have: have,
+			Kind: ShortfallBudget, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
-				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintainMillis, have),
+				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintenanceMillis, have),
 		})
 	}
 	return out
@@ -85,8 +85,8 @@
 	for _, d := range domainSizes(f, c.Covers) {
 		largest = max(largest, d.n)
 	}
-	width := int64(min(c.MaxUnavailable, Promised(c)+c.Spare, largest))
-	return int64(left/max(set.MaintainMillis, 1)) * width
+	width := int64(min(c.MaxUnavailable, PromisedInstances(c)+c.Spare, largest))
+	return int64(left/max(set.MaintenanceMillis, 1)) * width
 }
 
 // byBudget is the number of maintenances that the window budget allows in the
@@ -99,5 +99,5 @@
 		return 0
 	}
 	windows := int64((left + c.WindowMillis - 1) / c.WindowMillis)
-	return windows * int64(c.BudgetMillis/max(set.MaintainMillis, 1))
+	return windows * int64(c.BudgetMillis/max(set.MaintenanceMillis, 1))
 }
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -29,8 +29,8 @@
 
 // The rules of derivation.
 const (
-	// RuleAsked: the contract's own figure.
-	RuleAsked Rule = "as asked"
+	// RuleRequested: the contract's own figure.
+	RuleRequested Rule = "as asked"
 	// RuleSlots: the sum over the promised pools of instances times slots.
 	RuleSlots Rule = "promised instances x slots"
 	// RulePercent: a percentage of the concurrency, rounded down, so that
@@ -38,12 +38,12 @@
 	RulePercent Rule = "percent of concurrency"
 	// RuleNoWindow: no window is set, so time out of service is unbounded.
 	RuleNoWindow Rule = "no window"
-	// RuleWhole: at most all instances of the customer can be unavailable.
-	RuleWhole Rule = "at most all instances"
+	// RuleAllInstances: at most all instances of the customer can be unavailable.
+	RuleAllInstances Rule = "at most all instances"
 )
 
-// Figure is a number that a derivation used.
-type Figure struct {
+// Operand is a number that a derivation used.
+type Operand struct {
 	Name  string
 	Value int64
 }
@@ -51,12 +51,12 @@
 // Limit is a derived limit together with its derivation.
 type Limit struct {
 	Name Name
-	// Asked is the contract's own figure; 0 leaves the limit to the rule.
-	Asked int64
-	Value int64
-	Rule  Rule
-	// Figures lists what the rule used, in the order of its use.
-	Figures []Figure
+	// Requested is the contract's own figure; 0 leaves the limit to the rule.
+	Requested int64
+	Value     int64
+	Rule      Rule
+	// Operands lists what the rule used, in the order of its use.
+	Operands []Operand
 }
 
 // Unbounded is the value of a limit that bounds nothing.
@@ -66,13 +66,13 @@
 type Fleet struct {
 	// Instances must be sorted by ID, without retired ones.
 	Instances []model.Instance
-	// Workers is the sum of all workers' resources.
-	Workers model.Quota
+	// WorkerResources is the sum of all workers' resources.
+	WorkerResources model.Quota
 }
 
 // NewFleet sorts the instances that are part of the fleet.
 func NewFleet(instances map[model.InstanceID]model.Instance, workers model.Quota) Fleet {
-	f := Fleet{Workers: workers, Instances: make([]model.Instance, 0, len(instances))}
+	f := Fleet{WorkerResources: workers, Instances: make([]model.Instance, 0, len(instances))}
 	for _, i := range instances {
 		if i.Phase != model.PhaseRetired {
 			f.Instances = append(f.Instances, i)
@@ -106,28 +106,28 @@
 	}
 }
 
-// Slots is the policy that says how many slots one instance of a pool counts
+// SlotsPolicy is the policy that says how many slots one instance of a pool counts
 // for. The slots of the pool's instances come in ascending order.
-type Slots interface {
+type SlotsPolicy interface {
 	PerInstance(slots []int) int
 }
 
 // Derive returns every limit that the contract leads to.
-func Derive[P Slots](policy P, c model.Contract, f Fleet) Set {
+func Derive[P SlotsPolicy](policy P, c model.Contract, f Fleet) Set {
 	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
 	s.Queue = asked(Queue, c.Queue)
 	s.Retries = Limit{
-		Name: Retries, Asked: int64(c.RetryPercent), Rule: RulePercent,
+		Name: Retries, Requested: int64(c.RetryPercent), Rule: RulePercent,
 		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
-		Figures: []Figure{
+		Operands: []Operand{
 			{"concurrency", s.Concurrency.Value},
 			{"retry-percent", int64(c.RetryPercent)},
 		},
 	}
 	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
-	if all := int64(Promised(c) + c.Spare); s.MaxUnavailable.Value > all {
-		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleWhole
-		s.MaxUnavailable.Figures = append(s.MaxUnavailable.Figures, Figure{"instances", all})
+	if all := int64(PromisedInstances(c) + c.Spare); s.MaxUnavailable.Value > all {
+		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleAllInstances
+		s.MaxUnavailable.Operands = append(s.MaxUnavailable.Operands, Operand{"instances", all})
 	}
 	s.Budget = budget(c.BudgetMillis, c.WindowMillis)
 	s.Spare = asked(Spare, c.Spare)
@@ -137,9 +137,9 @@
 	return s
 }
 
-// Promised is the number of instances that a contract promises, without its
+// PromisedInstances is the number of instances that a contract promises, without its
 // spare.
-func Promised(c model.Contract) int {
+func PromisedInstances(c model.Contract) int {
 	n := 0
 	for _, p := range c.Pools {
 		n += p.Instances
@@ -149,15 +149,15 @@
 
 func asked(name Name, v int) Limit {
 	return Limit{
-		Name: name, Asked: int64(v), Value: int64(v), Rule: RuleAsked,
-		Figures: []Figure{{string(name), int64(v)}},
+		Name: name, Requested: int64(v), Value: int64(v), Rule: RuleRequested,
+		Operands: []Operand{{string(name), int64(v)}},
 	}
 }
 
 func budget(b, window clock.Millis) Limit {
 	l := Limit{
-		Name: Budget, Asked: int64(b), Value: int64(b), Rule: RuleAsked,
-		Figures: []Figure{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
+		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
+		Operands: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
 	}
 	if window == 0 {
 		l.Value, l.Rule = Unbounded, RuleNoWindow
@@ -165,7 +165,7 @@
 	return l
 }
 
-func concurrency[P Slots](policy P, c model.Contract, f Fleet) Limit {
+func concurrency[P SlotsPolicy](policy P, c model.Contract, f Fleet) Limit {
 	if c.Concurrency > 0 {
 		return asked(Concurrency, c.Concurrency)
 	}
@@ -173,10 +173,10 @@
 	for _, p := range c.Pools {
 		per := policy.PerInstance(slotsOf(f, p.Pool))
 		l.Value += int64(p.Instances) * int64(per)
-		l.Figures = append(
-			l.Figures,
-			Figure{string(p.Pool) + " instances", int64(p.Instances)},
-			Figure{string(p.Pool) + " slots", int64(per)},
+		l.Operands = append(
+			l.Operands,
+			Operand{string(p.Pool) + " instances", int64(p.Instances)},
+			Operand{string(p.Pool) + " slots", int64(per)},
 		)
 	}
 	return l
--- a/core/state/limits/error.go
+++ b/core/state/limits/error.go
@@ -11,10 +11,10 @@
 
 // The kinds of error.
 const (
-	// KindForm: the contract contradicts itself.
-	KindForm Kind = "form"
-	// KindShort: the verdict on the contract is a refusal.
-	KindShort Kind = "short"
+	// KindInvalid: the contract contradicts itself.
+	KindInvalid Kind = "form"
+	// KindRefused: the verdict on the contract is a refusal.
+	KindRefused Kind = "short"
 )
 
 // Error is the error type of the package.
@@ -30,11 +30,11 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// CheckForm returns the first contradiction inside a contract: a name that is
+// Validate returns the first contradiction inside a contract: a name that is
 // missing or used twice, or a figure below its least value.
-func CheckForm(c model.Contract) error {
+func Validate(c model.Contract) error {
 	fail := func(format string, args ...any) error {
-		return &Error{Op: "check contract " + string(c.Customer), Kind: KindForm, Err: fmt.Errorf(format, args...)}
+		return &Error{Op: "check contract " + string(c.Customer), Kind: KindInvalid, Err: fmt.Errorf(format, args...)}
 	}
 	if c.Customer == "" {
 		return fail("no customer is named")
@@ -73,8 +73,8 @@
 	return nil
 }
 
-func figuresOf(c model.Contract) []Figure {
-	return []Figure{
+func figuresOf(c model.Contract) []Operand {
+	return []Operand{
 		{"concurrency", int64(c.Concurrency)},
 		{"queue", int64(c.Queue)},
 		{"retry-percent", int64(c.RetryPercent)},
--- a/core/state/limits/judge.go
+++ b/core/state/limits/judge.go
@@ -10,38 +10,38 @@
 	"camphorridge/core/state/model"
 )
 
-// ShortKind tells the shortfalls apart.
-type ShortKind string
+// ShortfallKind tells the shortfalls apart.
+type ShortfallKind string
 
 // The kinds of shortfall.
 const (
-	// ShortForm: the contract contradicts itself.
-	ShortForm ShortKind = "form"
-	// ShortInstances: more instances are promised and reserved than owned.
-	ShortInstances ShortKind = "instances"
-	// ShortSpare: the spare is smaller than the loss of the largest failure
+	// ShortfallInvalid: the contract contradicts itself.
+	ShortfallInvalid ShortfallKind = "form"
+	// ShortfallInstances: more instances are promised and reserved than owned.
+	ShortfallInstances ShortfallKind = "instances"
+	// ShortfallSpare: the spare is smaller than the loss of the largest failure
 	// domain that the contract covers.
-	ShortSpare ShortKind = "spare"
-	// ShortWidth: the instances cannot all be maintained by a deadline with
+	ShortfallSpare ShortfallKind = "spare"
+	// ShortfallMaxUnavailable: the instances cannot all be maintained by a deadline with
 	// max-unavailable at once.
-	ShortWidth ShortKind = "max-unavailable"
-	// ShortBudget: the window budget allows too few maintenances before a
+	ShortfallMaxUnavailable ShortfallKind = "max-unavailable"
+	// ShortfallBudget: the window budget allows too few maintenances before a
 	// deadline.
-	ShortBudget ShortKind = "budget"
-	// ShortQuota: the quotas of all customers exceed the workers.
-	ShortQuota ShortKind = "quota"
-	// ShortSlots: the concurrency asked exceeds what the instances hold.
-	ShortSlots ShortKind = "slots"
+	ShortfallBudget ShortfallKind = "budget"
+	// ShortfallQuota: the quotas of all customers exceed the workers.
+	ShortfallQuota ShortfallKind = "quota"
+	// ShortfallSlots: the concurrency asked exceeds what the instances hold.
+	ShortfallSlots ShortfallKind = "slots"
 )
 
 // Shortfall is one way in which the fleet falls short of a contract.
 type Shortfall struct {
-	Kind ShortKind
+	Kind ShortfallKind
 	// Subject is what falls short: a zone, a rack, a declaration, a resource.
-	Subject string
-	Need    int64
-	Have    int64
-	Text    string
+	Subject   string
+	Required  int64
+	Available int64
+	Text      string
 }
 
 // Decision is the outcome of a judgement.
@@ -49,19 +49,19 @@
 
 // The decisions.
 const (
-	Accept      Decision = "accept"
-	AcceptShort Decision = "accept-with-shortfall"
-	Refuse      Decision = "refuse"
+	Accept              Decision = "accept"
+	AcceptWithShortfall Decision = "accept-with-shortfall"
+	Refuse              Decision = "refuse"
 )
 
-// Verdict is a decision with every shortfall found.
-type Verdict struct {
+// Evaluation is a decision with every shortfall found.
+type Evaluation struct {
 	Decision   Decision
 	Shortfalls []Shortfall
 }
 
 // Err returns the refusal as an error of KindShort; nil for an acceptance.
-func (v Verdict) Err() error {
+func (v Evaluation) Err() error {
 	if v.Decision != Refuse {
 		return nil
 	}
@@ -69,21 +69,21 @@
 	for _, s := range v.Shortfalls {
 		texts = append(texts, s.Text)
 	}
-	return &Error{Op: "judge contract", Kind: KindShort, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
+	return &Error{Op: "judge contract", Kind: KindRefused, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
 }
 
 // Settings are the figures that a judgement assumes.
 type Settings struct {
-	// MaintainMillis is how long one instance is out of service for one
+	// MaintenanceMillis is how long one instance is out of service for one
 	// maintenance; at least 1.
-	MaintainMillis clock.Millis
+	MaintenanceMillis clock.Millis
 	// PeriodMillis is the time within which every instance must be maintained
 	// once; 0 turns the goal off.
 	PeriodMillis clock.Millis
 }
 
-// Question is a contract to be judged and what surrounds it.
-type Question struct {
+// Input is a contract to be judged and what surrounds it.
+type Input struct {
 	Contract model.Contract
 	// Others holds every other accepted contract; an entry of the same
 	// customer is ignored.
@@ -93,24 +93,24 @@
 	Now          clock.Millis
 }
 
-// Judge decides on a contract. Nothing that falls short is left out of the
+// Evaluate decides on a contract. Nothing that falls short is left out of the
 // verdict.
-func Judge[S Severity, P Slots](severity S, slots P, set Settings, q Question) Verdict {
-	var v Verdict
-	if err := CheckForm(q.Contract); err != nil {
-		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortForm, Subject: string(q.Contract.Customer), Text: err.Error()})
+func Evaluate[S RefusalPolicy, P SlotsPolicy](severity S, slots P, set Settings, q Input) Evaluation {
+	var v Evaluation
+	if err := Validate(q.Contract); err != nil {
+		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(q.Contract.Customer), Text: err.Error()})
 	} else {
 		all := allContracts(q)
 		v.Shortfalls = append(v.Shortfalls, shortInstances(all, q.Fleet)...)
 		v.Shortfalls = append(v.Shortfalls, shortSpare(q)...)
 		v.Shortfalls = append(v.Shortfalls, shortSlots(slots, q)...)
-		v.Shortfalls = append(v.Shortfalls, shortQuota(all, q.Fleet.Workers)...)
+		v.Shortfalls = append(v.Shortfalls, shortQuota(all, q.Fleet.WorkerResources)...)
 		v.Shortfalls = append(v.Shortfalls, shortMaintenance(set, q)...)
 	}
 	v.Decision = Accept
 	for _, s := range v.Shortfalls {
 		if v.Decision != Refuse {
-			v.Decision = AcceptShort
+			v.Decision = AcceptWithShortfall
 		}
 		if severity.Refuses(s) {
 			v.Decision = Refuse
@@ -119,7 +119,7 @@
 	return v
 }
 
-func allContracts(q Question) []model.Contract {
+func allContracts(q Input) []model.Contract {
 	all := []model.Contract{q.Contract}
 	for _, c := range q.Others {
 		if c.Customer != q.Contract.Customer {
@@ -132,14 +132,14 @@
 func shortInstances(all []model.Contract, f Fleet) []Shortfall {
 	promised, spare := 0, 0
 	for _, c := range all {
-		promised += Promised(c)
+		promised += PromisedInstances(c)
 		spare += c.Spare
 	}
 	if promised+spare <= len(f.Instances) {
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortInstances, Subject: "fleet", Need: int64(promised + spare), Have: int64(len(f.Instances)),
+		Kind: ShortfallInstances, Subject: "fleet", Required: int64(promised + spare), Available: int64(len(f.Instances)),
 		Text: fmt.Sprintf("%d instances promised and %d reserved as spare by %d contracts; the fleet owns %d",
 			promised, spare, len(all), len(f.Instances)),
 	}}
@@ -148,16 +148,16 @@
 // shortSpare compares the spare with the loss of the worst covered domain
 // under the best possible spread. The domain's spare instances are lost with
 // it, so the spare must hold as many as the customer has in the domain.
-func shortSpare(q Question) []Shortfall {
+func shortSpare(q Input) []Shortfall {
 	c := q.Contract
-	total := Promised(c) + c.Spare
+	total := PromisedInstances(c) + c.Spare
 	sizes := domainSizes(q.Fleet, c.Covers)
 	loss, name := evenLoad(sizes, total)
 	if loss <= c.Spare {
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Need: int64(loss), Have: int64(c.Spare),
+		Kind: ShortfallSpare, Subject: fmt.Sprintf("%s %s", c.Covers, name), Required: int64(loss), Available: int64(c.Spare),
 		Text: fmt.Sprintf("%s %s holds %d of the customer's %d instances even when they are spread evenly; the spare is %d",
 			c.Covers, name, loss, total, c.Spare),
 	}}
@@ -169,7 +169,7 @@
 }
 
 // domainSizes counts instances by domain, in ascending order of names.
-func domainSizes(f Fleet, d model.Domain) []domainSize {
+func domainSizes(f Fleet, d model.FailureDomain) []domainSize {
 	count := map[string]int{}
 	for _, i := range f.Instances {
 		count[DomainOf(i, d)]++
@@ -183,7 +183,7 @@
 }
 
 // DomainOf names the failure domain of that kind which holds the instance.
-func DomainOf(i model.Instance, d model.Domain) string {
+func DomainOf(i model.Instance, d model.FailureDomain) string {
 	switch d {
 	case model.DomainZone:
 		return string(i.Zone)
@@ -220,7 +220,7 @@
 }
 
 // shortSlots states a concurrency that the promised instances cannot run.
-func shortSlots[P Slots](slots P, q Question) []Shortfall {
+func shortSlots[P SlotsPolicy](slots P, q Input) []Shortfall {
 	open := q.Contract
 	open.Concurrency = 0
 	have := concurrency(slots, open, q.Fleet).Value
@@ -228,7 +228,7 @@
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortSlots, Subject: "concurrency", Need: int64(q.Contract.Concurrency), Have: have,
+		Kind: ShortfallSlots, Subject: "concurrency", Required: int64(q.Contract.Concurrency), Available: have,
 		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", q.Contract.Concurrency, have),
 	}}
 }
@@ -242,7 +242,7 @@
 	add := func(name Name, n, h int) {
 		if n > h {
 			out = append(out, Shortfall{
-				Kind: ShortQuota, Subject: string(name), Need: int64(n), Have: int64(h),
+				Kind: ShortfallQuota, Subject: string(name), Required: int64(n), Available: int64(h),
 				Text: fmt.Sprintf("quotas of %d contracts sum up to %d %s; the workers have %d", len(all), n, name, h),
 			})
 		}
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -30,7 +30,7 @@
 	return NewFleet(m, model.Quota{MilliCores: n * 16000, MemoryMiB: n * 32768})
 }
 
-func contract(instances, spare int, covers model.Domain) model.Contract {
+func contract(instances, spare int, covers model.FailureDomain) model.Contract {
 	return model.Contract{
 		Customer: "pruefkette", Covers: covers, Spare: spare, SparePool: "portal", MaxUnavailable: 4, RetryPercent: 10,
 		Pools: []model.PoolShare{{Pool: "logs", Instances: instances}},
@@ -39,10 +39,10 @@
 
 // Guards against a derived limit whose figures do not lead to its value.
 func TestDeriveKeepsDerivation(t *testing.T) {
-	s := Derive(LowestSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
+	s := Derive(MinSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
 	assert.Equal(t, s.Concurrency.Value, int64(336))
 	assert.Equal(t, s.Concurrency.Rule, RuleSlots)
-	assert.DeepEqual(t, s.Concurrency.Figures, []Figure{{"logs instances", 42}, {"logs slots", 8}})
+	assert.DeepEqual(t, s.Concurrency.Operands, []Operand{{"logs instances", 42}, {"logs slots", 8}})
 	assert.Equal(t, s.Retries.Value, int64(33))
 	assert.Equal(t, s.Budget.Value, Unbounded)
 	assert.Equal(t, len(s.All()), 9)
@@ -50,40 +50,40 @@
 
 // Guards against a shortfall that goes unstated or has the wrong numbers.
 func TestJudgeStatesShortfalls(t *testing.T) {
-	set := Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
-	rebase := func(f func(*Question)) Question {
-		q := Question{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
+	set := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
+	rebase := func(f func(*Input)) Input {
+		q := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
 		f(&q)
 		return q
 	}
 	for _, c := range []struct {
 		name       string
-		q          Question
+		q          Input
 		decision   Decision
-		kind       ShortKind
+		kind       ShortfallKind
 		need, have int64
 	}{
-		{"fits", rebase(func(*Question) {}), Accept, "", 0, 0},
-		{"zone", rebase(func(q *Question) { q.Contract.Covers = model.DomainZone }), AcceptShort, ShortSpare, 17, 8},
-		{"owned", rebase(func(q *Question) {
+		{"fits", rebase(func(*Input) {}), Accept, "", 0, 0},
+		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptWithShortfall, ShortfallSpare, 17, 8},
+		{"owned", rebase(func(q *Input) {
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
-		}), Refuse, ShortInstances, 51, 50},
-		{"width", rebase(func(q *Question) {
-			q.Declarations = []model.Maintenance{{Name: "m", Declared: 1, Deadline: 2 * clock.Hour}}
-		}), AcceptShort, ShortWidth, 50, 24},
-		{"budget", rebase(func(q *Question) {
+		}), Refuse, ShortfallInstances, 51, 50},
+		{"width", rebase(func(q *Input) {
+			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
+		}), AcceptWithShortfall, ShortfallMaxUnavailable, 50, 24},
+		{"budget", rebase(func(q *Input) {
 			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
-		}), AcceptShort, ShortBudget, 50, 12},
-		{"shared", rebase(func(q *Question) {
+		}), AcceptWithShortfall, ShortfallBudget, 50, 12},
+		{"shared", rebase(func(q *Input) {
 			q.Contract.Pools[0].Instances = 40
-			q.Declarations = []model.Maintenance{{Name: "m", Declared: 1, Deadline: clock.Day}}
+			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
 			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
-		}), AcceptShort, ShortWidth, 42, 0},
-		{"quota", rebase(func(q *Question) { q.Contract.Quota.MilliCores = 800001 }), AcceptShort, ShortQuota, 800001, 800000},
-		{"slots", rebase(func(q *Question) { q.Contract.Concurrency = 400 }), AcceptShort, ShortSlots, 400, 336},
-		{"form", rebase(func(q *Question) { q.Contract.SparePool = "logs" }), Refuse, ShortForm, 0, 0},
+		}), AcceptWithShortfall, ShortfallMaxUnavailable, 42, 0},
+		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptWithShortfall, ShortfallQuota, 800001, 800000},
+		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptWithShortfall, ShortfallSlots, 400, 336},
+		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
-		v := Judge(Stated{}, LowestSlots{}, set, c.q)
+		v := Evaluate(RefuseImpossible{}, MinSlots{}, set, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
 		if c.kind == "" {
 			assert.Equal(t, len(v.Shortfalls), 0, c.name)
@@ -91,8 +91,8 @@
 		}
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
-		assert.Equal(t, [2]int64{s.Need, s.Have}, [2]int64{c.need, c.have}, c.name)
-		assert.Equal(t, Judge(Strict{}, LowestSlots{}, set, c.q).Decision, Refuse, c.name)
+		assert.Equal(t, [2]int64{s.Required, s.Available}, [2]int64{c.need, c.have}, c.name)
+		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, set, c.q).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
 	}
@@ -105,7 +105,7 @@
 		n := rapid.IntRange(3, 12).Draw(t, "n")
 		spare := rapid.IntRange(0, n-1).Draw(t, "spare")
 		promised := rapid.IntRange(1, n-spare).Draw(t, "promised")
-		q := Question{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
+		q := Input{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
 		short := len(shortSpare(q)) > 0
 		sizes, total, fits := domainSizes(q.Fleet, model.DomainZone), promised+spare, false
 		for a := 0; a <= sizes[0].n; a++ {
@@ -128,12 +128,12 @@
 		f.Instances[k].Slots = 4 + k%3*4
 	}
 	c := contract(42, 8, model.DomainRack)
-	run(b, "lowest", LowestSlots{}, c, f)
+	run(b, "lowest", MinSlots{}, c, f)
 	run(b, "mean", MeanSlots{}, c, f)
 	run(b, "fixed-8", FixedSlots{N: 8}, c, f)
 }
 
-func run[P Slots](b *testing.B, name string, p P, c model.Contract, f Fleet) {
+func run[P SlotsPolicy](b *testing.B, name string, p P, c model.Contract, f Fleet) {
 	b.Run(name, func(b *testing.B) {
 		var s Set
 		for b.Loop() {
@@ -148,12 +148,12 @@
 // sixty instances, and how many it accepts that need more instances than are
 // owned.
 func BenchmarkSeverity(b *testing.B) {
-	judged(b, "stated", Stated{})
-	judged(b, "strict", Strict{})
-	judged(b, "form-only", FormOnly{})
+	judged(b, "stated", RefuseImpossible{})
+	judged(b, "strict", RefuseAny{})
+	judged(b, "form-only", RefuseInvalid{})
 }
 
-func judged[S Severity](b *testing.B, name string, severity S) {
+func judged[S RefusalPolicy](b *testing.B, name string, severity S) {
 	b.Run(name, func(b *testing.B) {
 		count := map[Decision]float64{}
 		broken := 0.0
@@ -162,17 +162,17 @@
 			clear(count)
 			broken = 0
 			for k := range 300 {
-				c := contract(1+k%60, k%13, model.Domain(k%3))
+				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
-				v := Judge(severity, LowestSlots{}, Settings{MaintainMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Question{Contract: c, Fleet: f})
+				v := Evaluate(severity, MinSlots{}, Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
-				if v.Decision != Refuse && Promised(c)+c.Spare > 50 {
+				if v.Decision != Refuse && PromisedInstances(c)+c.Spare > 50 {
 					broken++
 				}
 			}
 		}
 		b.ReportMetric(count[Accept], "accepted")
-		b.ReportMetric(count[AcceptShort], "accepted-short")
+		b.ReportMetric(count[AcceptWithShortfall], "accepted-short")
 		b.ReportMetric(count[Refuse], "refused")
 		b.ReportMetric(broken, "violations")
 	})
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -1,11 +1,11 @@
 package limits
 
-// LowestSlots counts every instance of a pool like its smallest one, so that
+// MinSlots counts every instance of a pool like its smallest one, so that
 // the concurrency fits whichever instances are in service.
-type LowestSlots struct{}
+type MinSlots struct{}
 
 // PerInstance returns the smallest number.
-func (LowestSlots) PerInstance(slots []int) int {
+func (MinSlots) PerInstance(slots []int) int {
 	if len(slots) == 0 {
 		return 0
 	}
@@ -38,27 +38,29 @@
 // PerInstance returns N.
 func (p FixedSlots) PerInstance([]int) int { return p.N }
 
-// Severity is the policy that says which shortfalls refuse a contract.
-type Severity interface {
+// RefusalPolicy is the policy that says which shortfalls refuse a contract.
+type RefusalPolicy interface {
 	Refuses(Shortfall) bool
 }
 
-// Stated refuses a contract that contradicts itself or takes instances that
+// RefuseImpossible refuses a contract that contradicts itself or takes instances that
 // are not owned. Every other shortfall is stated and the contract accepted.
-type Stated struct{}
+type RefuseImpossible struct{}
 
 // Refuses reports whether s makes the contract impossible.
-func (Stated) Refuses(s Shortfall) bool { return s.Kind == ShortForm || s.Kind == ShortInstances }
+func (RefuseImpossible) Refuses(s Shortfall) bool {
+	return s.Kind == ShortfallInvalid || s.Kind == ShortfallInstances
+}
 
-// Strict refuses a contract with any shortfall.
-type Strict struct{}
+// RefuseAny refuses a contract with any shortfall.
+type RefuseAny struct{}
 
 // Refuses returns true.
-func (Strict) Refuses(Shortfall) bool { return true }
+func (RefuseAny) Refuses(Shortfall) bool { return true }
 
-// FormOnly is the baseline: it refuses only a contract that contradicts
+// RefuseInvalid is the baseline: it refuses only a contract that contradicts
 // itself, and states the rest.
-type FormOnly struct{}
+type RefuseInvalid struct{}
 
 // Refuses reports whether s is a contradiction inside the contract.
-func (FormOnly) Refuses(s Shortfall) bool { return s.Kind == ShortForm }
+func (RefuseInvalid) Refuses(s Shortfall) bool { return s.Kind == ShortfallInvalid }
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -16,16 +16,16 @@
 func BenchmarkWave(b *testing.B) {
 	for _, u := range []struct {
 		name   string
-		covers model.Domain
+		covers model.FailureDomain
 		most   int
 	}{{"pruefkette", model.DomainRack, 4}, {"pomar-alto", model.DomainZone, 3}} {
-		benchWave(b, u.name+"/full-speed", FullSpeed{}, u.covers, u.most)
-		benchWave(b, u.name+"/proportional", Proportional{Halt: 60}, u.covers, u.most)
-		benchWave(b, u.name+"/deadline", Deadline{Slow: 60, Halt: 200}, u.covers, u.most)
+		benchWave(b, u.name+"/full-speed", FullSpeedPacer{}, u.covers, u.most)
+		benchWave(b, u.name+"/proportional", ProportionalPacer{HaltPermille: 60}, u.covers, u.most)
+		benchWave(b, u.name+"/deadline", DeadlinePacer{SlowPermille: 60, HaltPermille: 200}, u.covers, u.most)
 	}
 }
 
-func benchWave[P Pacer](b *testing.B, name string, p P, covers model.Domain, most int) {
+func benchWave[P Pacer](b *testing.B, name string, p P, covers model.FailureDomain, most int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 10
 		var minutes, absent, felt, violations, missed, taken float64
@@ -35,9 +35,9 @@
 				w := newWorld(seed, 50, 3, 5, 5, covers, most)
 				w.phase = clock.Millis(seed) * 12 * clock.Minute
 				m := w.declare(8 * clock.Hour)
-				board := NewBoard(p, Score{Z: 4, Least: 3}, quick())
+				board := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, quick())
 				board.Load(w.input())
-				for w.unfinished(m) > 0 && w.now < m.Declared+3*clock.Day {
+				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
 					out := w.peak()
 					tell(w, board)
 					for _, s := range board.Pass(w.now).Steps {
@@ -50,7 +50,7 @@
 					felt += float64(out.excess)
 					w.advance()
 				}
-				minutes += float64((w.now - m.Declared) / clock.Minute)
+				minutes += float64((w.now - m.DeclaredAt) / clock.Minute)
 				violations += float64(len(w.violations))
 				if w.now > m.Deadline {
 					missed++
@@ -101,7 +101,7 @@
 			})
 			b.Run(fmt.Sprintf("%s-wave/%d", name, size.n), func(b *testing.B) {
 				w := newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
-				w.decls = []model.Maintenance{{Name: "firmware", Declared: 100 * clock.Day, Deadline: 110 * clock.Day}}
+				w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: 100 * clock.Day, Deadline: 110 * clock.Day}}
 				passes(b, w, scan)
 			})
 		}
@@ -110,7 +110,7 @@
 
 func passes(b *testing.B, w *world, scan bool) {
 	set := Defaults()
-	set.Scan = scan
+	set.FullScan = scan
 	w.now = 100 * clock.Day
 	ids := sortedKeys(w.inst)
 	for k, id := range ids {
@@ -119,7 +119,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	board := NewBoard(FullSpeed{}, Score{Z: 4, Least: 3}, set)
+	board := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, set)
 	board.Load(w.input())
 	board.Pass(w.now)
 	runtime.GC()
@@ -134,21 +134,21 @@
 			s := w.seen[id]
 			s.Calls++
 			w.seen[id] = s
-			board.SetSeen(id, s)
+			board.SetObservation(id, s)
 		}
 		for _, lost := range []bool{false, true} {
 			if lost {
 				down = ids[k*11%len(ids)]
 			}
 			w.lose(down, lost)
-			board.SetSeen(down, w.seen[down])
+			board.SetObservation(down, w.seen[down])
 		}
 		w.outages = w.outages[:0]
 		for _, s := range board.Pass(w.now).Steps {
 			w.do(s)
 			board.SetInstance(w.inst[s.Instance])
 			w.advance()
-			board.SetSeen(s.Instance, w.seen[s.Instance])
+			board.SetObservation(s.Instance, w.seen[s.Instance])
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
@@ -158,18 +158,18 @@
 // stopped, with touched instances that fail an eighth of their requests, and
 // how many of 20 waves with healthy instances stopped for no reason.
 func BenchmarkJudge(b *testing.B) {
-	judged(b, "never", Never{})
-	judged(b, "ratio", Ratio{Factor: 3, Least: 8})
-	judged(b, "score", Score{Z: 4, Least: 3})
+	judged(b, "never", NeverStop{})
+	judged(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
+	judged(b, "score", ZTest{Z: 4, MinFailures: 3})
 }
 
-func judged[J Judge](b *testing.B, name string, j J) {
+func judged[J StopPolicy](b *testing.B, name string, j J) {
 	b.Run(name, func(b *testing.B) {
 		var touched, wrong float64
 		for b.Loop() {
 			touched, wrong = 0, 0
 			for seed := range uint64(20) {
-				touched += 50 - float64(judgedRun(j, seed, true).unfinished(model.Maintenance{Declared: clock.Day}))
+				touched += 50 - float64(judgedRun(j, seed, true).unfinished(model.Maintenance{DeclaredAt: clock.Day}))
 				if judgedRun(j, seed, false).stopped {
 					wrong++
 				}
@@ -182,16 +182,16 @@
 
 // judgedRun runs a wave for four hours. A returned instance has run few
 // requests at first: 8 a minute, one in 400 of which fails as on its peers.
-func judgedRun[J Judge](j J, seed uint64, bad bool) *world {
+func judgedRun[J StopPolicy](j J, seed uint64, bad bool) *world {
 	w := newWorld(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
-	board := NewBoard(FullSpeed{}, j, quick())
+	board := NewPlanner(FullSpeedPacer{}, j, quick())
 	board.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
 		for _, id := range sortedKeys(w.inst) {
-			if i := w.inst[id]; i.Maintained > 1 && w.now-i.Maintained < 25*clock.Minute {
+			if i := w.inst[id]; i.MaintainedAt > 1 && w.now-i.MaintainedAt < 25*clock.Minute {
 				s := w.seen[id]
-				if w.now-i.Maintained <= clock.Minute {
+				if w.now-i.MaintainedAt <= clock.Minute {
 					s.Calls, s.Failures = 0, 0
 				}
 				for range 8 {
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -7,44 +7,44 @@
 
 // Settings are the figures of the maintenance of one fleet.
 type Settings struct {
-	// StepMillis is the longest time that one maintenance keeps an instance
+	// MaintenanceMillis is the longest time that one maintenance keeps an instance
 	// out of service, from its release to its return; at least 1.
-	StepMillis clock.Millis
+	MaintenanceMillis clock.Millis
 	// CanaryMillis is how long the first instance of a wave is observed after
 	// its return before others follow.
 	CanaryMillis clock.Millis
 	// StuckMillis is the time after which an instance in maintenance that was
 	// not verified counts as failed.
 	StuckMillis clock.Millis
-	// ObserveMillis is how long an instance counts as touched by the periodic
+	// ObservationMillis is how long an instance counts as touched by the periodic
 	// maintenance.
-	ObserveMillis clock.Millis
+	ObservationMillis clock.Millis
 	// PeriodMillis is the time within which every instance is maintained
 	// once; 0 turns the periodic goal off.
 	PeriodMillis clock.Millis
 	// MarginMillis is how long before the end of the period an instance is
 	// taken up; less than PeriodMillis.
 	MarginMillis clock.Millis
-	// GoalStart is the time from which the periodic goal applies.
-	GoalStart clock.Millis
-	// RetryMillis is the time after which a pool that waits for the pressure
+	// PeriodicStart is the time from which the periodic goal applies.
+	PeriodicStart clock.Millis
+	// PressureRetryMillis is the time after which a pool that waits for the pressure
 	// to fall is looked at again.
-	RetryMillis clock.Millis
-	// Scan turns the index off: every pass looks at the whole fleet. It is
+	PressureRetryMillis clock.Millis
+	// FullScan turns the index off: every pass looks at the whole fleet. It is
 	// there to measure what the index saves.
-	Scan bool
+	FullScan bool
 }
 
 // Defaults are the settings that the benchmarks use.
 func Defaults() Settings {
 	return Settings{
-		StepMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
-		ObserveMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, RetryMillis: clock.Minute,
+		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
+		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, PressureRetryMillis: clock.Minute,
 	}
 }
 
-// Seen is what entry processes and announcements say about an instance.
-type Seen struct {
+// Observation is what entry processes and announcements say about an instance.
+type Observation struct {
 	// Drained: every entry process of the zone confirmed the release.
 	Drained bool
 	// Restarted: announced with a higher incarnation since it was handed over.
@@ -70,7 +70,7 @@
 // Input is the whole state that a decision depends on.
 type Input struct {
 	Instances    []model.Instance
-	Seen         map[model.InstanceID]Seen
+	Observations map[model.InstanceID]Observation
 	Contracts    []model.Contract
 	Declarations []model.Maintenance
 	Outages      []Outage
@@ -112,14 +112,14 @@
 
 // The limits.
 const (
-	LimitStopped  LimitName = "wave-stopped"
-	LimitCanary   LimitName = "canary"
-	LimitCount    LimitName = "max-unavailable"
-	LimitWindow   LimitName = "window-budget"
-	LimitDomain   LimitName = "failure-domain"
-	LimitPressure LimitName = "pressure"
-	LimitLost     LimitName = "lost"
-	LimitPlatform LimitName = "platform"
+	LimitWaveStopped    LimitName = "wave-stopped"
+	LimitCanary         LimitName = "canary"
+	LimitMaxUnavailable LimitName = "max-unavailable"
+	LimitWindow         LimitName = "window-budget"
+	LimitDomain         LimitName = "failure-domain"
+	LimitPressure       LimitName = "pressure"
+	LimitLost           LimitName = "lost"
+	LimitPlatform       LimitName = "platform"
 )
 
 // Wait says why due work of a pool does not start.
@@ -130,7 +130,7 @@
 	// Customer is empty for limits that are not a customer's.
 	Customer model.Customer
 	Limit    LimitName
-	Have     int64
+	Current  int64
 	Max      int64
 	// Unblock says what would end the wait; Until is when the passing of time
 	// alone would, or 0.
@@ -146,8 +146,8 @@
 	Reason  string
 }
 
-// Late says that a deadline cannot be met by the limits as they stand.
-type Late struct {
+// UnmetDeadline says that a deadline cannot be met by the limits as they stand.
+type UnmetDeadline struct {
 	Wave     string
 	Customer model.Customer
 	// Pool is set for the periodic wave, which is checked by pool.
@@ -163,10 +163,10 @@
 
 // Plan is the outcome of a pass.
 type Plan struct {
-	Steps []Step
-	Waits []Wait
-	Stops []Stop
-	Late  []Late
-	// Wake is when the next pass is needed if nothing changes; 0 for never.
-	Wake clock.Millis
+	Steps          []Step
+	Waits          []Wait
+	Stops          []Stop
+	UnmetDeadlines []UnmetDeadline
+	// NextPassAt is when the next pass is needed if nothing changes; 0 for never.
+	NextPassAt clock.Millis
 }
--- a/core/state/maint/judge.go
+++ b/core/state/maint/judge.go
@@ -21,30 +21,30 @@
 	t.Failures += sign * u.Failures
 }
 
-// Judge is the policy that stops a wave when the instances it touched fail
+// StopPolicy is the policy that stops a wave when the instances it touched fail
 // more than their untouched peers. The reason is empty while it goes on.
-type Judge interface {
-	Stop(touched, peers Tally) (reason string)
+type StopPolicy interface {
+	StopReason(touched, peers Tally) (reason string)
 }
 
-// Never is the baseline: it stops nothing.
-type Never struct{}
+// NeverStop is the baseline: it stops nothing.
+type NeverStop struct{}
 
-// Stop returns no reason.
-func (Never) Stop(Tally, Tally) string { return "" }
+// StopReason returns no reason.
+func (NeverStop) StopReason(Tally, Tally) string { return "" }
 
-// Ratio stops when the touched fail Factor times as often as their peers.
-type Ratio struct {
+// RatioTest stops when the touched fail Factor times as often as their peers.
+type RatioTest struct {
 	Factor float64
-	// Least is the number of failures below which nothing is concluded.
-	Least int64
+	// MinFailures is the number of failures below which nothing is concluded.
+	MinFailures int64
 }
 
-// Stop compares requests first and whole instances then.
-func (j Ratio) Stop(t, p Tally) string {
+// StopReason compares requests first and whole instances then.
+func (j RatioTest) StopReason(t, p Tally) string {
 	// One failure is added to the peers: few of them, and none with a failure,
 	// are left at the end of a wave.
-	if p.Calls > 0 && t.Failures >= j.Least && rate(t.Failures, t.Calls) > j.Factor*rate(p.Failures+1, p.Calls) {
+	if p.Calls > 0 && t.Failures >= j.MinFailures && rate(t.Failures, t.Calls) > j.Factor*rate(p.Failures+1, p.Calls) {
 		return explain("requests", t.Failures, t.Calls, p.Failures, p.Calls)
 	}
 	if p.Instances > 0 && t.Failed >= 1 && rate(t.Failed, t.Instances) > j.Factor*rate(p.Failed+1, p.Instances) {
@@ -53,20 +53,20 @@
 	return ""
 }
 
-// Score stops when the difference of the failure rates is larger than Z
+// ZTest stops when the difference of the failure rates is larger than Z
 // standard errors, so that few calls conclude little and many conclude more.
-type Score struct {
+type ZTest struct {
 	Z float64
-	// Least is the number of failed requests below which nothing is
+	// MinFailures is the number of failed requests below which nothing is
 	// concluded: one failure among the first eight requests of a canary is
 	// many standard errors away from its peers and still chance.
-	Least int64
+	MinFailures int64
 }
 
-// Stop compares requests first and whole instances then. A single failed
+// StopReason compares requests first and whole instances then. A single failed
 // instance among healthy peers is enough only when the wave touched few.
-func (j Score) Stop(t, p Tally) string {
-	if t.Failures >= j.Least && score(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
+func (j ZTest) StopReason(t, p Tally) string {
+	if t.Failures >= j.MinFailures && score(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
 		return explain("requests", t.Failures, t.Calls, p.Failures, p.Calls)
 	}
 	if score(t.Failed, t.Instances, p.Failed, p.Instances) > j.Z {
--- a/core/state/maint/late.go
+++ b/core/state/maint/late.go
@@ -10,7 +10,7 @@
 
 // passDeadlines checks the waves whose check fell due and lists every deadline
 // that cannot be met.
-func (b *Board[P, J]) passDeadlines(now clock.Millis, plan *Plan) {
+func (b *Planner[P, J]) passDeadlines(now clock.Millis, plan *Plan) {
 	for _, name := range b.names {
 		w := b.waves[name]
 		if b.check[name] {
@@ -27,7 +27,7 @@
 		if len(w.pending) == 0 {
 			w.late = nil
 		}
-		plan.Late = append(plan.Late, w.late...)
+		plan.UnmetDeadlines = append(plan.UnmetDeadlines, w.late...)
 	}
 	clear(b.check)
 }
@@ -35,9 +35,9 @@
 // checkWave estimates for each customer when the wave would be done and
 // returns the time of the next check: often enough to see a change, and
 // always at the last moment at which a maintenance could still be started.
-func (b *Board[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.late = nil
-	if len(w.pending) == 0 && w.decl.Declared <= now {
+	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
 		return 0
 	}
 	covered := map[model.Pool]bool{}
@@ -54,17 +54,17 @@
 			free += n
 		}
 	}
-	if last := w.decl.Deadline - b.set.StepMillis; free > 0 && now > last {
-		w.late = append(w.late, Late{
-			Wave: w.decl.Name, Remaining: free, Deadline: w.decl.Deadline, Estimate: now + b.set.StepMillis,
+	if last := w.decl.Deadline - b.set.MaintenanceMillis; free > 0 && now > last {
+		w.late = append(w.late, UnmetDeadline{
+			Wave: w.decl.Name, Remaining: free, Deadline: w.decl.Deadline, Estimate: now + b.set.MaintenanceMillis,
 			Reason: "instances of pools without a contract are left",
 		})
 	}
-	last := w.decl.Deadline - b.set.StepMillis
+	last := w.decl.Deadline - b.set.MaintenanceMillis
 	if now < last {
-		return min(last, now+max(b.set.StepMillis, (last-now)/8))
+		return min(last, now+max(b.set.MaintenanceMillis, (last-now)/8))
 	}
-	return now + max(b.set.StepMillis/4, 1)
+	return now + max(b.set.MaintenanceMillis/4, 1)
 }
 
 // outlook is what one customer still has before it in a wave.
@@ -78,7 +78,7 @@
 }
 
 // look sums up what a customer has left; total counts those under way too.
-func (b *Board[P, J]) look(w *wave, a *account, now clock.Millis) (o outlook, total int) {
+func (b *Planner[P, J]) look(w *wave, a *account, now clock.Millis) (o outlook, total int) {
 	o.left = map[string]int{}
 	own := map[model.Pool]bool{}
 	for _, p := range a.pools {
@@ -107,23 +107,23 @@
 		if slices.Contains(it.pending, w) {
 			o.left[o.busy]--
 		}
-		end := a.out[id].from + b.set.StepMillis
+		end := a.out[id].from + b.set.MaintenanceMillis
 		if end < now {
 			// It has taken longer than a maintenance may; nothing says when it
 			// will be back.
-			end = now + b.set.StepMillis
+			end = now + b.set.MaintenanceMillis
 		}
 		o.ends = append(o.ends, end)
 	}
 	return o, total
 }
 
-func (b *Board[P, J]) checkCustomer(w *wave, a *account, now clock.Millis) {
+func (b *Planner[P, J]) checkCustomer(w *wave, a *account, now clock.Millis) {
 	o, total := b.look(w, a, now)
 	if total == 0 {
 		return
 	}
-	late := Late{Wave: w.decl.Name, Customer: a.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
+	late := UnmetDeadline{Wave: w.decl.Name, Customer: a.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
 	late.Estimate, late.Reason = b.estimate(w, a, o, now)
 	if late.Estimate == 0 || late.Estimate > w.decl.Deadline {
 		w.late = append(w.late, late)
@@ -134,7 +134,7 @@
 // after the other, and which limit decides that; 0 for never. It assumes that
 // each maintenance takes as long as it may, so it does not grow while all goes
 // as planned.
-func (b *Board[P, J]) estimate(w *wave, a *account, o outlook, now clock.Millis) (clock.Millis, string) {
+func (b *Planner[P, J]) estimate(w *wave, a *account, o outlook, now clock.Millis) (clock.Millis, string) {
 	rest := 0
 	for _, n := range o.left {
 		rest += n
@@ -157,26 +157,26 @@
 			rounds += (n + width - 1) / width
 		}
 	}
-	end += clock.Millis(rounds) * b.set.StepMillis
+	end += clock.Millis(rounds) * b.set.MaintenanceMillis
 	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", rest, width, a.contract.Covers)
 	if a.contract.WindowMillis == 0 {
 		return end, reason
 	}
-	each := int(a.contract.BudgetMillis / b.set.StepMillis)
+	each := int(a.contract.BudgetMillis / b.set.MaintenanceMillis)
 	if each == 0 {
-		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", a.contract.BudgetMillis, b.set.StepMillis)
+		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", a.contract.BudgetMillis, b.set.MaintenanceMillis)
 	}
-	free := max(0, int((a.contract.BudgetMillis-a.used(now, b.set.StepMillis, b.outages))/b.set.StepMillis))
+	free := max(0, int((a.contract.BudgetMillis-a.used(now, b.set.MaintenanceMillis, b.outages))/b.set.MaintenanceMillis))
 	if rest > free {
 		windows := (rest - free + each - 1) / each
-		end = max(end, now+clock.Millis(windows)*a.contract.WindowMillis+b.set.StepMillis)
+		end = max(end, now+clock.Millis(windows)*a.contract.WindowMillis+b.set.MaintenanceMillis)
 		reason = fmt.Sprintf("%d instances at %d for each window of %d ms", rest, each, a.contract.WindowMillis)
 	}
 	return end, reason
 }
 
 // opens is when the canary lets others start.
-func (b *Board[P, J]) opens(w *wave, o outlook, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) opens(w *wave, o outlook, now clock.Millis) clock.Millis {
 	switch {
 	case w.observed > 0:
 		return now
@@ -185,13 +185,13 @@
 	case w.touched.Instances > 0:
 		return max(now, w.canary+b.set.CanaryMillis)
 	default:
-		return now + b.set.StepMillis + b.set.CanaryMillis
+		return now + b.set.MaintenanceMillis + b.set.CanaryMillis
 	}
 }
 
 // finishBusy is when the domain in which maintenance is under way is done:
 // each place that becomes free takes the next of its instances.
-func (b *Board[P, J]) finishBusy(o outlook, opens clock.Millis, width int) clock.Millis {
+func (b *Planner[P, J]) finishBusy(o outlook, opens clock.Millis, width int) clock.Millis {
 	if len(o.ends) == 0 {
 		return opens
 	}
@@ -201,7 +201,7 @@
 	}
 	slices.Sort(places)
 	for range o.left[o.busy] {
-		places = append(places[1:], max(places[0], opens)+b.set.StepMillis)
+		places = append(places[1:], max(places[0], opens)+b.set.MaintenanceMillis)
 		slices.Sort(places)
 	}
 	return max(opens, places[len(places)-1])
@@ -209,14 +209,14 @@
 
 // checkPeriod reports, by pool, the instances that the periodic goal cannot
 // reach in time any more, and returns the time of the next check.
-func (b *Board[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
+func (b *Planner[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.late = nil
-	next := now + max(b.set.MarginMillis/2, b.set.StepMillis)
+	next := now + max(b.set.MarginMillis/2, b.set.MaintenanceMillis)
 	for _, p := range sortedKeys(b.ready) {
-		late := Late{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
+		late := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
 		for _, s := range b.ready[p].racks {
 			for _, it := range s.items {
-				last := it.deadline - b.set.StepMillis
+				last := it.deadline - b.set.MaintenanceMillis
 				switch {
 				case it.wave != w:
 				case now < last:
@@ -224,7 +224,7 @@
 				default:
 					late.Remaining++
 					late.Deadline = it.deadline
-					next = min(next, now+b.set.StepMillis)
+					next = min(next, now+b.set.MaintenanceMillis)
 				}
 			}
 		}
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -17,21 +17,21 @@
 }
 
 func (w *world) declare(deadline clock.Millis) model.Maintenance {
-	m := model.Maintenance{Name: "firmware", Declared: w.now, Deadline: w.now + deadline}
+	m := model.Maintenance{Name: "firmware", DeclaredAt: w.now, Deadline: w.now + deadline}
 	w.decls = append(w.decls, m)
 	return m
 }
 
 // run advances the world until the time is reached and the board with it. At
 // every pass a board that is newly filled has to decide the same.
-func run[P Pacer, J Judge](t rapid.TB, w *world, p P, j J, set Settings, until clock.Millis, each func()) {
-	b := NewBoard(p, j, set)
+func run[P Pacer, J StopPolicy](t rapid.TB, w *world, p P, j J, set Settings, until clock.Millis, each func()) {
+	b := NewPlanner(p, j, set)
 	b.Load(Input{Contracts: w.contracts, Declarations: w.decls})
 	for w.now < until {
 		tell(w, b)
 		plan := b.Pass(w.now)
 		if w.now%(7*clock.Minute) == 0 {
-			fresh := Decide(p, j, set, w.input(), w.now)
+			fresh := PlanOnce(p, j, set, w.input(), w.now)
 			assert.DeepEqual(t, fresh.Steps, plan.Steps)
 			assert.DeepEqual(t, fresh.Stops, plan.Stops)
 		}
@@ -53,7 +53,7 @@
 func TestWavesUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 18).Draw(t, "n")
-		covers := model.Domain(rapid.IntRange(0, 2).Draw(t, "covers"))
+		covers := model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers"))
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, rapid.IntRange(1, 2).Draw(t, "per"), covers, rapid.IntRange(0, 4).Draw(t, "most"))
 		if rapid.Bool().Draw(t, "shared") {
 			// A customer of its own on a pool that another one holds too.
@@ -65,7 +65,7 @@
 		m := w.declare(deadline)
 		losses := rapid.IntRange(0, 20).Draw(t, "losses")
 		ids := sortedKeys(w.inst)
-		run(t, w, FullSpeed{}, Never{}, quick(), m.Deadline+clock.Hour, func() {
+		run(t, w, FullSpeedPacer{}, NeverStop{}, quick(), m.Deadline+clock.Hour, func() {
 			id := ids[w.rnd.IntN(len(ids))]
 			w.lose(id, w.rnd.IntN(1000) < losses)
 			if w.now == m.Deadline && w.unfinished(m) > 0 && w.late[m.Name] == 0 {
@@ -85,7 +85,7 @@
 		w.contracts[0].WindowMillis = clock.Millis(rapid.IntRange(30, 200).Draw(t, "window")) * clock.Minute
 		w.contracts[0].BudgetMillis = clock.Millis(rapid.IntRange(0, 60).Draw(t, "budget")) * clock.Minute
 		m := w.declare(20 * clock.Hour)
-		run(t, w, FullSpeed{}, Never{}, quick(), w.now+10*clock.Hour, nil)
+		run(t, w, FullSpeedPacer{}, NeverStop{}, quick(), w.now+10*clock.Hour, nil)
 		for _, v := range w.violations {
 			t.Fatal(v)
 		}
@@ -100,19 +100,19 @@
 func TestFeasibleDeadlinesAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "n")
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.Domain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := w.declare(1)
-		late := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now).Late
+		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now).UnmetDeadlines
 		assert.Equal(t, len(late), 1)
 		w.decls[0].Deadline = late[0].Estimate
 		m = w.decls[0]
 		switch rapid.IntRange(0, 2).Draw(t, "pacer") {
 		case 0:
-			run(t, w, FullSpeed{}, Score{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
 		case 1:
-			run(t, w, Proportional{Halt: 50}, Score{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
 		default:
-			run(t, w, Deadline{Slow: 50, Halt: 200}, Score{Z: 4, Least: 3}, quick(), m.Deadline, nil)
+			run(t, w, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
 		}
 		if left := w.unfinished(m); left > 0 || w.late[m.Name] > 0 || len(w.violations) > 0 {
 			t.Fatalf("%d left, reported late at %d, %v", left, w.late[m.Name], w.violations)
@@ -127,7 +127,7 @@
 		w := newWorld(7, 30, 3, 3, 3, model.DomainRack, 4)
 		w.bad = bad
 		m := w.declare(clock.Day)
-		run(t, w, FullSpeed{}, Score{Z: 4, Least: 3}, quick(), w.now+6*clock.Hour, nil)
+		run(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, quick(), w.now+6*clock.Hour, nil)
 		assert.Equal(t, w.stopped, bad)
 		if bad {
 			assert.Equal(t, w.unfinished(m), 29, "only the canary is touched")
@@ -143,10 +143,10 @@
 	w := newWorld(3, 30, 3, 1, 1, model.DomainZone, 6)
 	w.inst["i0000"] = maintained(w.inst["i0000"], w.now)
 	w.now += clock.Hour
-	w.decls = []model.Maintenance{{Name: "firmware", Declared: clock.Day, Deadline: 9 * clock.Day}}
+	w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
 	releases := func(p int) (int, Plan) {
 		w.pressure["c00"] = p
-		plan := Decide(Deadline{Slow: 50, Halt: 200}, Never{}, quick(), w.input(), w.now)
+		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, quick(), w.input(), w.now)
 		return len(plan.Steps), plan
 	}
 	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
@@ -155,7 +155,7 @@
 		assert.Equal(t, len(plan.Waits), 1)
 		want := LimitPressure
 		if c.pressure == 0 {
-			want = LimitCount
+			want = LimitMaxUnavailable
 		}
 		assert.Equal(t, plan.Waits[0].Limit, want)
 		assert.Assert(t, plan.Waits[0].Unblock != "")
@@ -163,7 +163,7 @@
 }
 
 func maintained(i model.Instance, at clock.Millis) model.Instance {
-	i.Maintained = at
+	i.MaintainedAt = at
 	return i
 }
 
@@ -176,14 +176,14 @@
 	w.now += clock.Hour
 	for id, target := range map[model.InstanceID]model.Pool{"i0000": "p00", "i0001": "other"} {
 		i := w.inst[id]
-		i.Phase, i.Target, i.Since = model.PhaseReleasing, target, w.now
+		i.Phase, i.Target, i.PhaseSince = model.PhaseReleasing, target, w.now
 		w.inst[id] = i
 	}
-	plan := Decide(FullSpeed{}, Never{}, quick(), w.input(), w.now)
+	plan := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now)
 	assert.Equal(t, len(plan.Steps), 1)
 	assert.Equal(t, plan.Steps[0].Kind, StepRelease)
 	assert.Equal(t, w.inst[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
-	assert.Equal(t, plan.Waits[0].Limit, LimitCount, "the move counts as unavailable")
+	assert.Equal(t, plan.Waits[0].Limit, LimitMaxUnavailable, "the move counts as unavailable")
 }
 
 // Guards against an instance that the periodic goal misses although budgets
@@ -191,11 +191,11 @@
 func TestPeriodicGoal(t *testing.T) {
 	w := newWorld(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
-	set.PeriodMillis, set.MarginMillis, set.GoalStart = 4*clock.Day, clock.Day, w.now
-	run(t, w, FullSpeed{}, Never{}, set, w.now+9*clock.Day, func() {
+	set.PeriodMillis, set.MarginMillis, set.PeriodicStart = 4*clock.Day, clock.Day, w.now
+	run(t, w, FullSpeedPacer{}, NeverStop{}, set, w.now+9*clock.Day, func() {
 		for _, i := range w.inst {
-			if w.now > i.Maintained+set.PeriodMillis && i.Maintained > 1 || w.now > 5*clock.Day && i.Maintained == 1 {
-				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.Maintained, w.now)
+			if w.now > i.MaintainedAt+set.PeriodMillis && i.MaintainedAt > 1 || w.now > 5*clock.Day && i.MaintainedAt == 1 {
+				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.MaintainedAt, w.now)
 			}
 		}
 	})
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -1,56 +1,56 @@
 package maint
 
-// Felt is what a pacer decides by, for one customer.
-type Felt struct {
-	// Pressure is felt by the customer's callers, in permille.
-	Pressure int
-	// Max is the customer's max-unavailable.
-	Max int
-	// Needed is the number at once that would just meet the deadline.
-	Needed int
+// PacerInput is what a pacer decides by, for one customer.
+type PacerInput struct {
+	// PressurePermille is felt by the customer's callers, in permille.
+	PressurePermille int
+	// MaxUnavailable is the customer's max-unavailable.
+	MaxUnavailable int
+	// NeededForDeadline is the number at once that would just meet the deadline.
+	NeededForDeadline int
 }
 
 // Pacer is the policy that says how many of a customer's instances may be in
 // maintenance at once, given what its callers feel.
 type Pacer interface {
-	Width(Felt) int
+	MaxConcurrent(PacerInput) int
 }
 
-// FullSpeed is the baseline: as many as the contract allows, whatever callers
+// FullSpeedPacer is the baseline: as many as the contract allows, whatever callers
 // feel.
-type FullSpeed struct{}
+type FullSpeedPacer struct{}
 
-// Width returns the contract's bound.
-func (FullSpeed) Width(f Felt) int { return f.Max }
+// MaxConcurrent returns the contract's bound.
+func (FullSpeedPacer) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
 
-// Proportional slows down in proportion to the pressure and halts at Halt.
-type Proportional struct {
-	// Halt is the pressure in permille at which nothing more starts; at
+// ProportionalPacer slows down in proportion to the pressure and halts at Halt.
+type ProportionalPacer struct {
+	// HaltPermille is the pressure in permille at which nothing more starts; at
 	// least 1.
-	Halt int
+	HaltPermille int
 }
 
-// Width is at least 1 below Halt, so that a wave under light pressure goes on.
-func (p Proportional) Width(f Felt) int {
-	if f.Pressure >= p.Halt {
+// MaxConcurrent is at least 1 below Halt, so that a wave under light pressure goes on.
+func (p ProportionalPacer) MaxConcurrent(f PacerInput) int {
+	if f.PressurePermille >= p.HaltPermille {
 		return 0
 	}
-	return min(f.Max, max(1, f.Max*(p.Halt-f.Pressure)/p.Halt))
+	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.HaltPermille-f.PressurePermille)/p.HaltPermille))
 }
 
-// Deadline slows down like Proportional but never below what the deadline
+// DeadlinePacer slows down like Proportional but never below what the deadline
 // needs, up to Halt.
-type Deadline struct {
-	// Slow is the pressure in permille at which only the deadline's need
-	// remains; Halt, at least Slow, is where nothing more starts.
-	Slow int
-	Halt int
+type DeadlinePacer struct {
+	// SlowPermille is the pressure in permille at which only the deadline's need
+	// remains; Halt, at least SlowPermille, is where nothing more starts.
+	SlowPermille int
+	HaltPermille int
 }
 
-// Width returns the larger of both, within the contract's bound.
-func (p Deadline) Width(f Felt) int {
-	if f.Pressure >= p.Halt {
+// MaxConcurrent returns the larger of both, within the contract's bound.
+func (p DeadlinePacer) MaxConcurrent(f PacerInput) int {
+	if f.PressurePermille >= p.HaltPermille {
 		return 0
 	}
-	return min(f.Max, max(f.Needed, Proportional{Halt: p.Slow}.Width(f)))
+	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{HaltPermille: p.SlowPermille}.MaxConcurrent(f)))
 }
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -30,7 +30,7 @@
 	// stop is the reason why nothing more starts; empty while the wave runs.
 	stop string
 	// late is the last outcome of the deadline check.
-	late []Late
+	late []UnmetDeadline
 	// tentative is the number of releases decided in the current pass.
 	tentative int
 }
@@ -65,24 +65,24 @@
 // wants reports whether the wave still has to maintain the instance, and by
 // when. The periodic wave wants an instance from its margin on.
 func (w *wave) wants(s Settings, i model.Instance, now clock.Millis) (deadline clock.Millis, ok bool) {
-	if i.Phase == model.PhaseRetired || w.decl.Declared > now {
+	if i.Phase == model.PhaseRetired || w.decl.DeclaredAt > now {
 		return 0, false
 	}
 	if w.periodic() {
 		deadline = s.periodEnd(i)
 		return deadline, now >= deadline-s.MarginMillis || inMaintenance(i)
 	}
-	return w.decl.Deadline, i.Maintained < w.decl.Declared && w.decl.Selector.Matches(i)
+	return w.decl.Deadline, i.MaintainedAt < w.decl.DeclaredAt && w.decl.Selector.Matches(i)
 }
 
 // touches reports whether the wave maintained the instance: since its
 // declaration, or within the observed time for the periodic wave.
 func (w *wave) touches(s Settings, i model.Instance, now clock.Millis) bool {
-	if i.Maintained == 0 || i.Maintained < w.decl.Declared {
+	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.DeclaredAt {
 		return false
 	}
 	if w.periodic() {
-		return i.Maintained+s.ObserveMillis > now
+		return i.MaintainedAt+s.ObservationMillis > now
 	}
 	return w.decl.Selector.Matches(i)
 }
@@ -91,13 +91,13 @@
 // Instances that were never maintained are spread evenly by a hash of their
 // name, so that the first period does not end for all of them at once.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
-	if i.Maintained >= s.GoalStart && i.Maintained > 0 {
-		return i.Maintained + s.PeriodMillis
+	if i.MaintainedAt >= s.PeriodicStart && i.MaintainedAt > 0 {
+		return i.MaintainedAt + s.PeriodMillis
 	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(i.ID))
 	spread := uint64(max(s.PeriodMillis-s.MarginMillis, 1))
-	return s.GoalStart + s.MarginMillis + clock.Millis(h.Sum64()%spread)
+	return s.PeriodicStart + s.MarginMillis + clock.Millis(h.Sum64()%spread)
 }
 
 // inMaintenance reports whether a maintenance of the instance has begun. A
--- a/core/state/maint/world_test.go
+++ b/core/state/maint/world_test.go
@@ -17,7 +17,7 @@
 	// phase shifts the hours with peaks.
 	phase clock.Millis
 	inst  map[model.InstanceID]model.Instance
-	seen  map[model.InstanceID]Seen
+	seen  map[model.InstanceID]Observation
 	// ready is when the next thing happens to an instance out of service.
 	ready     map[model.InstanceID]clock.Millis
 	contracts []model.Contract
@@ -32,10 +32,10 @@
 	late       map[string]clock.Millis
 }
 
-func newWorld(seed uint64, n, zones, pools, perContract int, covers model.Domain, most int) *world {
+func newWorld(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, most int) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: clock.Day, inst: map[model.InstanceID]model.Instance{},
-		seen: map[model.InstanceID]Seen{}, ready: map[model.InstanceID]clock.Millis{},
+		seen: map[model.InstanceID]Observation{}, ready: map[model.InstanceID]clock.Millis{},
 		pressure: map[model.Customer]int{}, late: map[string]clock.Millis{},
 	}
 	for k := range n {
@@ -44,9 +44,9 @@
 		pool := model.Pool(fmt.Sprintf("p%02d", k/zones%pools))
 		w.inst[id] = model.Instance{
 			ID: id, Zone: model.Zone(fmt.Sprintf("z%02d", zone)), Pool: pool, Target: pool, Slots: 8,
-			Rack: model.Rack(fmt.Sprintf("z%02d-r%03d", zone, k/zones/4)), Maintained: 1,
+			Rack: model.Rack(fmt.Sprintf("z%02d-r%03d", zone, k/zones/4)), MaintainedAt: 1,
 		}
-		w.seen[id] = Seen{Calls: 200, Failures: int64(w.rnd.IntN(2))}
+		w.seen[id] = Observation{Calls: 200, Failures: int64(w.rnd.IntN(2))}
 	}
 	for k := 0; k < pools; k += perContract {
 		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%02d", k)), Covers: covers, MaxUnavailable: most}
@@ -59,17 +59,19 @@
 }
 
 func (w *world) input() Input {
-	in := Input{Seen: w.seen, Contracts: w.contracts, Declarations: w.decls, Outages: w.outages, Pressure: w.pressure}
+	in := Input{Observations: w.seen, Contracts: w.contracts, Declarations: w.decls, Outages: w.outages, Pressure: w.pressure}
 	for _, id := range sortedKeys(w.inst) {
 		in.Instances = append(in.Instances, w.inst[id])
 	}
 	return in
 }
 
-func out(i model.Instance, s Seen) bool { return i.Phase != model.PhaseServing || s.LostSince > 0 }
+func out(i model.Instance, s Observation) bool {
+	return i.Phase != model.PhaseServing || s.LostSince > 0
+}
 
 // tell passes on what changed since the last call.
-func tell[P Pacer, J Judge](w *world, b *Board[P, J]) {
+func tell[P Pacer, J StopPolicy](w *world, b *Planner[P, J]) {
 	for id, i := range w.inst {
 		if k := slices.IndexFunc(w.told.Instances, func(x model.Instance) bool { return x.ID == id }); k < 0 {
 			w.told.Instances = append(w.told.Instances, i)
@@ -78,12 +80,12 @@
 			w.told.Instances[k] = i
 			b.SetInstance(i)
 		}
-		if w.told.Seen == nil {
-			w.told.Seen = map[model.InstanceID]Seen{}
+		if w.told.Observations == nil {
+			w.told.Observations = map[model.InstanceID]Observation{}
 		}
-		if w.told.Seen[id] != w.seen[id] {
-			w.told.Seen[id] = w.seen[id]
-			b.SetSeen(id, w.seen[id])
+		if w.told.Observations[id] != w.seen[id] {
+			w.told.Observations[id] = w.seen[id]
+			b.SetObservation(id, w.seen[id])
 		}
 	}
 	for _, o := range w.outages {
@@ -112,7 +114,7 @@
 // do carries out one step, as the mover would.
 func (w *world) do(s Step) {
 	i, seen := w.inst[s.Instance], w.seen[s.Instance]
-	i.Since = w.now
+	i.PhaseSince = w.now
 	minutes := func(lo, hi int) { w.ready[i.ID] = w.now + clock.Millis(lo+w.rnd.IntN(hi-lo+1))*clock.Minute }
 	switch s.Kind {
 	case StepRelease:
@@ -129,7 +131,7 @@
 	case StepReturn:
 		i.Phase = model.PhaseServing
 		if s.Done {
-			i.Maintained = w.now
+			i.MaintainedAt = w.now
 			if w.bad {
 				seen.Failures = seen.Calls / 4
 			}
@@ -227,7 +229,7 @@
 func (w *world) unfinished(m model.Maintenance) int {
 	n := 0
 	for _, i := range w.inst {
-		if m.Selector.Matches(i) && i.Maintained < m.Declared {
+		if m.Selector.Matches(i) && i.MaintainedAt < m.DeclaredAt {
 			n++
 		}
 	}
@@ -237,7 +239,7 @@
 // note remembers what a plan reported.
 func (w *world) note(p Plan) {
 	w.stopped = w.stopped || len(p.Stops) > 0
-	for _, l := range p.Late {
+	for _, l := range p.UnmetDeadlines {
 		if w.late[l.Wave] == 0 {
 			w.late[l.Wave] = w.now
 		}
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -19,31 +19,33 @@
 	}
 }
 
-func direct(a model.Announcement) Heard { return Heard{Announcement: a, Direct: true} }
+func direct(a model.Announcement) ReceivedAnnouncement {
+	return ReceivedAnnouncement{Announcement: a, Direct: true}
+}
 
 // Guards against announcements that contradict what is known being taken in.
 func TestAcceptRules(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		change func(h *Heard)
+		change func(h *ReceivedAnnouncement)
 		kind   Kind
 		ok     bool
 	}{
-		{"again", func(*Heard) {}, 0, true},
-		{"leaving", func(h *Heard) { h.Announcement.State = model.AnnounceLeaving }, 0, true},
-		{"lower incarnation", func(h *Heard) { h.Announcement.Incarnation = 4 }, KindIncarnation, false},
-		{"other pool", func(h *Heard) { h.Announcement.Pool = "q" }, KindPool, false},
-		{"other address", func(h *Heard) { h.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
-		{"restarted elsewhere", func(h *Heard) {
+		{"again", func(*ReceivedAnnouncement) {}, 0, true},
+		{"leaving", func(h *ReceivedAnnouncement) { h.Announcement.State = model.AnnounceLeaving }, 0, true},
+		{"lower incarnation", func(h *ReceivedAnnouncement) { h.Announcement.Incarnation = 4 }, KindIncarnation, false},
+		{"other pool", func(h *ReceivedAnnouncement) { h.Announcement.Pool = "q" }, KindPool, false},
+		{"other address", func(h *ReceivedAnnouncement) { h.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
+		{"restarted elsewhere", func(h *ReceivedAnnouncement) {
 			h.Announcement.Incarnation, h.Announcement.Pool, h.Announcement.Address = 6, "q", "10.0.0.9:9"
 		}, 0, true},
-		{"address of another", func(h *Heard) { h.Announcement.Instance = "b" }, KindAddress, false},
-		{"other zone", func(h *Heard) { h.Announcement.Zone = "y" }, KindZone, false},
-		{"no slots", func(h *Heard) { h.Announcement.Slots = 0 }, KindInvalid, false},
-		{"no incarnation", func(h *Heard) { h.Announcement.Incarnation = 0 }, KindInvalid, false},
-		{"no pool", func(h *Heard) { h.Announcement.Pool = "" }, KindInvalid, false},
-		{"unknown state", func(h *Heard) { h.Announcement.State = 7 }, KindInvalid, false},
-		{"too old", func(h *Heard) { h.Age = DefaultLease }, KindStale, false},
+		{"address of another", func(h *ReceivedAnnouncement) { h.Announcement.Instance = "b" }, KindAddress, false},
+		{"other zone", func(h *ReceivedAnnouncement) { h.Announcement.Zone = "y" }, KindZone, false},
+		{"no slots", func(h *ReceivedAnnouncement) { h.Announcement.Slots = 0 }, KindInvalid, false},
+		{"no incarnation", func(h *ReceivedAnnouncement) { h.Announcement.Incarnation = 0 }, KindInvalid, false},
+		{"no pool", func(h *ReceivedAnnouncement) { h.Announcement.Pool = "" }, KindInvalid, false},
+		{"unknown state", func(h *ReceivedAnnouncement) { h.Announcement.State = 7 }, KindInvalid, false},
+		{"too old", func(h *ReceivedAnnouncement) { h.Age = DefaultLease }, KindStale, false},
 	} {
 		r := New(Settings{Zone: "z"}, 0)
 		_, err := r.Accept(0, direct(announcement("a", 5)))
@@ -72,7 +74,7 @@
 	a.State = model.AnnounceLeaving
 	_, err := r.Accept(0, direct(a))
 	assert.NilError(t, err)
-	_, err = r.Accept(1, Heard{Announcement: announcement("a", 1), Age: 500})
+	_, err = r.Accept(1, ReceivedAnnouncement{Announcement: announcement("a", 1), Age: 500})
 	assert.ErrorContains(t, err, "leaving")
 	_, err = r.Accept(2, direct(announcement("a", 2)))
 	assert.NilError(t, err)
@@ -101,7 +103,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"announce": func(t *rapid.T) {
 				a := announcement(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
-				h := Heard{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
+				h := ReceivedAnnouncement{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
 				_, err := r.Accept(now, h)
 				allowed := h.Age < lease && a.Incarnation >= incarnation[a.Instance]
 				assert.Equal(t, err == nil, allowed, "%v", err)
@@ -116,7 +118,7 @@
 			},
 			"time": func(t *rapid.T) {
 				now += clock.Millis(rapid.IntRange(1, 800).Draw(t, "ms"))
-				for _, gone := range r.Lapse(now, nil) {
+				for _, gone := range r.Expire(now, nil) {
 					id := gone.Announcement.Instance
 					assert.Assert(t, !lapsed[id], "the end was reported twice")
 					assert.Assert(t, expires[id] <= now)
@@ -126,8 +128,8 @@
 			"": func(t *rapid.T) {
 				r.Each(func(rec *Record) {
 					id := rec.Announcement.Instance
-					assert.Equal(t, rec.Expires, expires[id])
-					assert.Equal(t, rec.Lapsed, lapsed[id])
+					assert.Equal(t, rec.ExpiresAt, expires[id])
+					assert.Equal(t, rec.Expired, lapsed[id])
 				})
 			},
 		})
@@ -144,21 +146,21 @@
 		now := clock.Millis(0)
 		for range 4 {
 			now += 1000
-			r.Lapse(now, nil)
+			r.Expire(now, nil)
 		}
 		_, err = r.Accept(now, direct(announcement("a", 1)))
 		assert.NilError(t, err)
 		woke := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
-		for _, l := range r.Lapse(woke, nil) {
+		for _, l := range r.Expire(woke, nil) {
 			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
 		}
 		a, _ := r.Get("a")
-		assert.Equal(t, a.Expires, woke+DefaultLease)
+		assert.Equal(t, a.ExpiresAt, woke+DefaultLease)
 		dead, known := r.Get("dead")
-		assert.Assert(t, !known || dead.Lapsed, "the pause revived what was gone")
+		assert.Assert(t, !known || dead.Expired, "the pause revived what was gone")
 		gone := 0
 		for step := range clock.Millis(4) {
-			gone += len(r.Lapse(woke+step*1000, nil))
+			gone += len(r.Expire(woke+step*1000, nil))
 		}
 		assert.Equal(t, gone, 1)
 		assert.Equal(t, r.Pauses, 1)
@@ -180,7 +182,7 @@
 				assert.NilError(t, err)
 				heard[an.Instance] = true
 			}
-			news, latest := a.News(now+5, seq)
+			news, latest := a.UpdatesSince(now+5, seq)
 			assert.Equal(t, len(news), len(heard))
 			for _, h := range news {
 				assert.Assert(t, heard[h.Announcement.Instance] && !h.Direct && h.Age == 5)
@@ -188,7 +190,7 @@
 				assert.NilError(t, err)
 			}
 			seq = latest
-			echoes, _ := b.News(now+5, 0)
+			echoes, _ := b.UpdatesSince(now+5, 0)
 			assert.Equal(t, len(echoes), 0)
 		}
 	})
@@ -196,13 +198,13 @@
 
 // Guards against records that pile up as instances are replaced.
 func TestOldRecordsAreForgotten(t *testing.T) {
-	r := New(Settings{Zone: "z", Pause: clock.Day}, 0)
+	r := New(Settings{Zone: "z", MaxTickGap: clock.Day}, 0)
 	for i := range 50 {
 		_, err := r.Accept(0, direct(announcement(fmt.Sprint(i), 1)))
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, len(r.Lapse(DefaultLease, nil)), 50)
-	r.Lapse(DefaultLease+Forget+1, nil)
+	assert.Equal(t, len(r.Expire(DefaultLease, nil)), 50)
+	r.Expire(DefaultLease+ForgetAfter+1, nil)
 	assert.Equal(t, len(r.records)+len(r.byAddress), 0)
 	assert.Assert(t, r.first == nil && r.last == nil)
 }
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -9,12 +9,12 @@
 const (
 	// DefaultLease is three announcement intervals.
 	DefaultLease = 3 * clock.Second
-	// DefaultPause is the gap between two ticks that counts as a pause of this
+	// DefaultMaxTickGap is the gap between two ticks that counts as a pause of this
 	// process.
-	DefaultPause = clock.Second
-	// Forget is the time after which a lapsed record and its incarnation are
+	DefaultMaxTickGap = clock.Second
+	// ForgetAfter is the time after which a lapsed record and its incarnation are
 	// dropped. It is far longer than any announcement can be under way.
-	Forget = clock.Hour
+	ForgetAfter = clock.Hour
 )
 
 // Settings of a roster.
@@ -22,20 +22,20 @@
 	Zone model.Zone
 	// Lease is how long an announcement holds.
 	Lease clock.Millis
-	// Pause is the longest gap between two ticks without a grace.
-	Pause clock.Millis
+	// MaxTickGap is the longest gap between two ticks without a grace.
+	MaxTickGap clock.Millis
 }
 
 // Record is the latest announcement of an instance.
 type Record struct {
 	Announcement model.Announcement
-	// Heard is the time of the announcement, less the time it was under way.
-	Heard clock.Millis
-	// Expires is the end of the lease; it never moves back under one
+	// SentAt is the time of the announcement, less the time it was under way.
+	SentAt clock.Millis
+	// ExpiresAt is the end of the lease; it never moves back under one
 	// incarnation.
-	Expires clock.Millis
-	// Lapsed says that the end of the lease was reported.
-	Lapsed bool
+	ExpiresAt clock.Millis
+	// Expired says that the end of the lease was reported.
+	Expired bool
 	// Seq is the number of the last announcement heard from the upstream
 	// itself; 0 when all came through neighbours.
 	Seq uint64
@@ -44,10 +44,10 @@
 }
 
 // Live reports whether the lease holds at a time.
-func (r *Record) Live(now clock.Millis) bool { return r.Expires > now }
+func (r *Record) Live(now clock.Millis) bool { return r.ExpiresAt > now }
 
-// Heard is an announcement with the way it took.
-type Heard struct {
+// ReceivedAnnouncement is an announcement with the way it took.
+type ReceivedAnnouncement struct {
 	Announcement model.Announcement
 	// Age is the time since the upstream sent it, as far as known.
 	Age clock.Millis
@@ -76,8 +76,8 @@
 	if cfg.Lease <= 0 {
 		cfg.Lease = DefaultLease
 	}
-	if cfg.Pause <= 0 {
-		cfg.Pause = DefaultPause
+	if cfg.MaxTickGap <= 0 {
+		cfg.MaxTickGap = DefaultMaxTickGap
 	}
 	return &Roster{
 		cfg:       cfg,
@@ -90,19 +90,19 @@
 // Lease returns the lease that an accepted announcement gets.
 func (t *Roster) Lease() clock.Millis { return t.cfg.Lease }
 
-// Observe tells the roster the time. After a gap longer than the pause, this
+// Tick tells the roster the time. After a gap longer than the pause, this
 // process itself was stopped and could not hear anybody: every lease that held
 // before the gap is prolonged by one lease. It reports whether that was so.
-func (t *Roster) Observe(now clock.Millis) (paused bool) {
+func (t *Roster) Tick(now clock.Millis) (paused bool) {
 	before := t.seen
 	t.seen = max(t.seen, now)
-	if now-before <= t.cfg.Pause {
+	if now-before <= t.cfg.MaxTickGap {
 		return false
 	}
 	t.Pauses++
 	for _, r := range t.records {
-		if r.Expires > before {
-			r.Expires = max(r.Expires, now+t.cfg.Lease)
+		if r.ExpiresAt > before {
+			r.ExpiresAt = max(r.ExpiresAt, now+t.cfg.Lease)
 		}
 	}
 	return true
@@ -110,8 +110,8 @@
 
 // Accept takes an announcement in, or returns why not. changed reports whether
 // anything but the lease differs from before.
-func (t *Roster) Accept(now clock.Millis, h Heard) (changed bool, err error) {
-	t.Observe(now)
+func (t *Roster) Accept(now clock.Millis, h ReceivedAnnouncement) (changed bool, err error) {
+	t.Tick(now)
 	if e := t.check(now, h); e != nil {
 		return false, e
 	}
@@ -121,17 +121,17 @@
 		r = &Record{}
 		t.records[a.Instance] = r
 	}
-	changed = r.Announcement != a || r.Lapsed || r.Heard == 0
+	changed = r.Announcement != a || r.Expired || r.SentAt == 0
 	if r.Announcement.Incarnation != a.Incarnation {
-		r.Expires = 0
+		r.ExpiresAt = 0
 	}
 	if old := r.Announcement.Address; old != a.Address && t.byAddress[old] == a.Instance {
 		delete(t.byAddress, old)
 	}
 	r.Announcement = a
-	r.Heard = max(r.Heard, now-h.Age)
-	r.Expires = max(r.Expires, now-h.Age+t.cfg.Lease)
-	r.Lapsed = false
+	r.SentAt = max(r.SentAt, now-h.Age)
+	r.ExpiresAt = max(r.ExpiresAt, now-h.Age+t.cfg.Lease)
+	r.Expired = false
 	t.byAddress[a.Address] = a.Instance
 	if h.Direct {
 		t.seq++
@@ -142,7 +142,7 @@
 	return changed, nil
 }
 
-func (t *Roster) check(now clock.Millis, h Heard) *Error {
+func (t *Roster) check(now clock.Millis, h ReceivedAnnouncement) *Error {
 	a := h.Announcement
 	if e := validate(a, t.cfg.Zone); e != nil {
 		return e
@@ -191,17 +191,17 @@
 	return nil
 }
 
-// Lapse marks the records whose lease ended, appends them to buf, and forgets
+// Expire marks the records whose lease ended, appends them to buf, and forgets
 // those that lapsed long ago.
-func (t *Roster) Lapse(now clock.Millis, buf []Record) []Record {
-	t.Observe(now)
+func (t *Roster) Expire(now clock.Millis, buf []Record) []Record {
+	t.Tick(now)
 	for id, r := range t.records {
 		switch {
 		case r.Live(now):
-		case !r.Lapsed:
-			r.Lapsed = true
+		case !r.Expired:
+			r.Expired = true
 			buf = append(buf, *r)
-		case now-r.Expires > Forget:
+		case now-r.ExpiresAt > ForgetAfter:
 			t.unlink(r)
 			if t.byAddress[r.Announcement.Address] == id {
 				delete(t.byAddress, r.Announcement.Address)
@@ -228,13 +228,13 @@
 	}
 }
 
-// News returns what was heard from upstreams themselves after a sequence
+// UpdatesSince returns what was heard from upstreams themselves after a sequence
 // number, for the neighbours, and the number to ask from next. Its cost
 // follows the number of news.
-func (t *Roster) News(now clock.Millis, since uint64) (news []Heard, latest uint64) {
+func (t *Roster) UpdatesSince(now clock.Millis, since uint64) (news []ReceivedAnnouncement, latest uint64) {
 	for r := t.last; r != nil && r.Seq > since; r = r.prev {
 		if r.Live(now) {
-			news = append(news, Heard{Announcement: r.Announcement, Age: now - r.Heard})
+			news = append(news, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.SentAt})
 		}
 	}
 	return news, t.seq
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -51,8 +51,8 @@
 	Outcomes    []ClaimOutcome
 	// Process and Run name the entry process that claims, and its incarnation;
 	// Process alone names one that is gone.
-	Process Process
-	Run     uint64
+	Process     Process
+	Incarnation uint64
 	// Ops are applied in order at Time.
 	Ops []jobs.Op
 }
@@ -104,9 +104,9 @@
 // ClaimAnswer tells the claimant whether it may run the request.
 type ClaimAnswer struct {
 	Granted bool
-	// First is the state of the request that holds the key.
-	First  ClaimState
-	Status int
+	// FirstState is the state of the request that holds the key.
+	FirstState ClaimState
+	Status     int
 }
 
 // ResultKind tells how a change ended.
@@ -126,8 +126,8 @@
 	Version Version
 	// Winner names the author of the change that won a conflict.
 	Winner string
-	// Differs lists the fields that differ from the winner's.
-	Differs []string
-	Reason  string
-	Claims  []ClaimAnswer
+	// DifferingFields lists the fields that differ from the winner's.
+	DifferingFields []string
+	Reason          string
+	Claims          []ClaimAnswer
 }
--- a/core/state/model/felt.go
+++ b/core/state/model/felt.go
@@ -2,21 +2,21 @@
 
 import "camphorridge/core/state/clock"
 
-// Felt is what an entry process saw of callers and instances since it was
+// LoadReport is what an entry process saw of callers and instances since it was
 // last asked.
-type Felt struct {
-	Customers []CustomerFelt
+type LoadReport struct {
+	Customers []CustomerLoad
 	Instances []InstanceTally
 }
 
-// CustomerFelt counts the requests of one customer.
-type CustomerFelt struct {
+// CustomerLoad counts the requests of one customer.
+type CustomerLoad struct {
 	Customer Customer
-	Asks     int64
-	// Suffered counts those that were refused for lack of capacity or time, or
+	Requests int64
+	// Impaired counts those that were refused for lack of capacity or time, or
 	// whose outcome is unknown; at most Asks. Refusals by a limit of the
 	// contract do not count.
-	Suffered int64
+	Impaired int64
 }
 
 // InstanceTally counts the requests that one instance ran.
@@ -36,6 +36,6 @@
 	// Refused counts the requests that were refused for lack of capacity or
 	// time since the last report.
 	Refused int
-	// Typical is the usual run time of a request; 0 while unknown.
-	Typical clock.Millis
+	// TypicalRunTime is the usual run time of a request; 0 while unknown.
+	TypicalRunTime clock.Millis
 }
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -26,12 +26,12 @@
 // Version is the log index of the change that last altered an object.
 type Version uint64
 
-// Domain is a kind of failure domain.
-type Domain int
+// FailureDomain is a kind of failure domain.
+type FailureDomain int
 
 // The failure domains, from the smallest to the largest.
 const (
-	DomainInstance Domain = iota
+	DomainInstance FailureDomain = iota
 	DomainRack
 	DomainZone
 )
@@ -39,18 +39,18 @@
 var domainNames = [...]string{"instance", "rack", "zone"}
 
 // String returns the name used in files and reports.
-func (d Domain) String() string {
+func (d FailureDomain) String() string {
 	if d < 0 || int(d) >= len(domainNames) {
 		return "unknown"
 	}
 	return domainNames[d]
 }
 
-// ParseDomain returns the domain of that name; ok is false for other names.
-func ParseDomain(s string) (d Domain, ok bool) {
+// ParseFailureDomain returns the domain of that name; ok is false for other names.
+func ParseFailureDomain(s string) (d FailureDomain, ok bool) {
 	for i, n := range domainNames {
 		if n == s {
-			return Domain(i), true
+			return FailureDomain(i), true
 		}
 	}
 	return 0, false
@@ -64,7 +64,7 @@
 	Version Version
 	// Covers is the largest failure domain whose loss leaves the capacity
 	// whole.
-	Covers Domain
+	Covers FailureDomain
 	// Pools lists the capacity promised, by pool; names are unique.
 	Pools []PoolShare
 	// Concurrency is the number of requests in flight over all entry
@@ -96,7 +96,7 @@
 }
 
 // Quota bounds the resources that a customer's tasks hold at once.
-type Quota = jobs.Size
+type Quota = jobs.Resources
 
 // Phase is the state of an instance's membership in a pool.
 type Phase int
@@ -149,24 +149,24 @@
 	// Incarnation is the upstream's incarnation when the instance was handed
 	// to the platform; a higher one shows that it was rebooted.
 	Incarnation uint64
-	// Maintained is the time of the last finished maintenance; 0 for never.
-	Maintained clock.Millis
-	// Lost is the time since which no entry process hears the instance although
+	// MaintainedAt is the time of the last finished maintenance; 0 for never.
+	MaintainedAt clock.Millis
+	// LostSince is the time since which no entry process hears the instance although
 	// nothing was planned; 0 while it is heard.
-	Lost clock.Millis
-	// Out is the time since which the instance has been out of service, for
+	LostSince clock.Millis
+	// OutSince is the time since which the instance has been out of service, for
 	// planned and unplanned reasons alike; 0 while it serves.
-	Out clock.Millis
-	// Since is the time at which the phase was entered, by the leader's
+	OutSince clock.Millis
+	// PhaseSince is the time at which the phase was entered, by the leader's
 	// clock.
-	Since   clock.Millis
-	Version Version
+	PhaseSince clock.Millis
+	Version    Version
 }
 
 // OutOfService reports whether the instance counts against the budgets of its
 // pool's customers.
 func (i Instance) OutOfService() bool {
-	return i.Lost != 0 || i.Phase == PhaseReleasing || i.Phase == PhaseMaintenance
+	return i.LostSince != 0 || i.Phase == PhaseReleasing || i.Phase == PhaseMaintenance
 }
 
 // Outage is a finished time that an instance spent out of service.
@@ -204,11 +204,11 @@
 // Maintenance is a declaration that the selected instances must be maintained
 // by a deadline.
 type Maintenance struct {
-	Name     string
-	Selector Selector
-	Declared clock.Millis
-	Deadline clock.Millis
-	Version  Version
+	Name       string
+	Selector   Selector
+	DeclaredAt clock.Millis
+	Deadline   clock.Millis
+	Version    Version
 }
 
 // AnnounceState is what an upstream says about itself.
--- a/core/state/place/judge.go
+++ b/core/state/place/judge.go
@@ -9,70 +9,70 @@
 // worker.
 type Evidence struct {
 	Failed bool
-	// Tasks of the same class failed last on Fails of Peers other workers.
-	Fails int
-	Peers int
+	// Tasks of the same class failed last on FailedPeers of Peers other workers.
+	FailedPeers int
+	Peers       int
 }
 
-// Judge is the policy that says how much a run counts against its worker. A
+// HealthPolicy is the policy that says how much a run counts against its worker. A
 // worker whose sum reaches the limit is set aside; the sum never falls
 // below 0.
-type Judge interface {
-	Weigh(Evidence) float64
-	Limit() float64
+type HealthPolicy interface {
+	Score(Evidence) float64
+	Threshold() float64
 }
 
-// Trust is the baseline: it sets no worker aside.
-type Trust struct{}
+// NoQuarantine is the baseline: it sets no worker aside.
+type NoQuarantine struct{}
 
-// Weigh returns 0.
-func (Trust) Weigh(Evidence) float64 { return 0 }
+// Score returns 0.
+func (NoQuarantine) Score(Evidence) float64 { return 0 }
 
-// Limit is never reached.
-func (Trust) Limit() float64 { return math.Inf(1) }
+// Threshold is never reached.
+func (NoQuarantine) Threshold() float64 { return math.Inf(1) }
 
-// Streak sets a worker aside after N failures in a row, whatever they ran.
-type Streak struct {
+// ConsecutiveFailures sets a worker aside after N failures in a row, whatever they ran.
+type ConsecutiveFailures struct {
 	N int
 }
 
-// Weigh counts failures; a success takes all of them back.
-func (j Streak) Weigh(e Evidence) float64 {
+// Score counts failures; a success takes all of them back.
+func (j ConsecutiveFailures) Score(e Evidence) float64 {
 	if e.Failed {
 		return 1
 	}
 	return math.Inf(-1)
 }
 
-// Limit is N.
-func (j Streak) Limit() float64 { return float64(j.N) }
+// Threshold is N.
+func (j ConsecutiveFailures) Threshold() float64 { return float64(j.N) }
 
-// Peers compares each failure with how the class fares on other workers: the
+// PeerComparison compares each failure with how the class fares on other workers: the
 // weight is the log of how much likelier a broken worker explains it. A class
 // that fails everywhere weighs nothing.
-type Peers struct {
-	// Least is the sum at which a worker is set aside.
-	Least float64
+type PeerComparison struct {
+	// MinScore is the sum at which a worker is set aside.
+	MinScore float64
 }
 
 // brokenRate is the share of runs that a broken worker is taken to fail.
 const brokenRate = 0.95
 
-// Weigh returns the log of the likelihood ratio. The class's failure rate
+// Score returns the log of the likelihood ratio. The class's failure rate
 // starts at one in ten while nothing is known of it.
-func (j Peers) Weigh(e Evidence) float64 {
-	rate := min((float64(e.Fails)+0.5)/(float64(e.Peers)+5), brokenRate)
+func (j PeerComparison) Score(e Evidence) float64 {
+	rate := min((float64(e.FailedPeers)+0.5)/(float64(e.Peers)+5), brokenRate)
 	if e.Failed {
 		return math.Log(brokenRate / rate)
 	}
 	return math.Log((1 - brokenRate) / max(1-rate, 1-brokenRate))
 }
 
-// Limit is Least.
-func (j Peers) Limit() float64 { return j.Least }
+// Threshold is Least.
+func (j PeerComparison) Threshold() float64 { return j.MinScore }
 
-// Record is how a class of tasks fared on its latest workers.
-type Record struct {
+// ClassHistory is how a class of tasks fared on its latest workers.
+type ClassHistory struct {
 	last  map[WorkerID]bool
 	order []WorkerID
 	fails int
@@ -81,11 +81,11 @@
 // keptWorkers bounds the workers that a class is remembered on.
 const keptWorkers = 64
 
-// NewRecord returns a record of no runs.
-func NewRecord() *Record { return &Record{last: map[WorkerID]bool{}} }
+// NewClassHistory returns a record of no runs.
+func NewClassHistory() *ClassHistory { return &ClassHistory{last: map[WorkerID]bool{}} }
 
-// Note adds the end of a run on w.
-func (r *Record) Note(w WorkerID, failed bool) {
+// Add adds the end of a run on w.
+func (r *ClassHistory) Add(w WorkerID, failed bool) {
 	if was, ok := r.last[w]; ok {
 		if was {
 			r.fails--
@@ -108,12 +108,12 @@
 }
 
 // Evidence describes a run on w next to the class's runs on other workers.
-func (r *Record) Evidence(w WorkerID, failed bool) Evidence {
-	e := Evidence{Failed: failed, Fails: r.fails, Peers: len(r.last)}
+func (r *ClassHistory) Evidence(w WorkerID, failed bool) Evidence {
+	e := Evidence{Failed: failed, FailedPeers: r.fails, Peers: len(r.last)}
 	if was, ok := r.last[w]; ok {
 		e.Peers--
 		if was {
-			e.Fails--
+			e.FailedPeers--
 		}
 	}
 	return e
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -68,7 +68,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
 		f.delay, f.drop = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "drop")
-		b := NewBoard(BestFit{}, NewQuantile(90), Peers{Least: 6}, Defaults())
+		b := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, Defaults())
 		f.fill(b)
 		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
 		for k := range 2 {
@@ -135,7 +135,7 @@
 func TestQuotaHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
-		b := NewBoard(WorstFit{}, Declared{}, Trust{}, Defaults())
+		b := NewPlacer(WorstFit{}, Declared{}, NoQuarantine{}, Defaults())
 		f.fill(b)
 		quota := rapid.IntRange(1000, 30000).Draw(t, "quota")
 		b.SetContract(teamContract(0, quota))
@@ -160,7 +160,7 @@
 // against refusals without figures.
 func TestImpossibleWorkIsRefused(t *testing.T) {
 	f := newFake(1, 3)
-	b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	b := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.fill(b)
 	b.SetContract(teamContract(0, 20000))
 	for _, c := range []struct {
@@ -186,7 +186,7 @@
 // ladderKinds fills one worker and returns how room is made for urgent work.
 func ladderKinds(t *testing.T, most int, budget clock.Millis) (kinds []ActionKind, limit Limit) {
 	f := newFake(1, 1)
-	b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	b := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.fill(b)
 	c := teamContract(0, 64000)
 	c.MaxUnavailable, c.BudgetMillis = most, budget
@@ -228,10 +228,10 @@
 // Guards against a worker that fails everything and keeps getting work, and
 // against workers condemned for tasks that fail everywhere.
 func TestBadWorkersAndBadTasks(t *testing.T) {
-	lost, aside := judged(Peers{Least: 6}, 1, true, false)
+	lost, aside := judged(PeerComparison{MinScore: 6}, 1, true, false)
 	assert.DeepEqual(t, aside, []WorkerID{"w0003"})
 	assert.Assert(t, lost <= 8, "%d tasks were lost to the bad worker", lost)
-	_, aside = judged(Peers{Least: 6}, 1, false, true)
+	_, aside = judged(PeerComparison{MinScore: 6}, 1, false, true)
 	assert.Equal(t, len(aside), 0)
 }
 
@@ -241,8 +241,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
 		f.delay = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay"))
-		board := func(term int) *Board[BestFit, Declared, Peers] {
-			b := NewBoard(BestFit{}, Declared{}, Peers{Least: 6}, Defaults())
+		board := func(term int) *Placer[BestFit, Declared, PeerComparison] {
+			b := NewPlacer(BestFit{}, Declared{}, PeerComparison{MinScore: 6}, Defaults())
 			b.TakeOver(term, f.now)
 			f.fill(b)
 			b.SetContract(teamContract(0, 64000))
@@ -254,7 +254,7 @@
 			tasks[x.ID] = x
 		}
 		// Late reports reach the board of the leader at the time.
-		b := &Board[BestFit, Declared, Peers]{}
+		b := &Placer[BestFit, Declared, PeerComparison]{}
 		for term := 1; term <= 4; term++ {
 			*b = *board(term)
 			length := 60 + f.rnd.IntN(40)
@@ -295,7 +295,7 @@
 	f := newFake(1, 40)
 	set := Defaults()
 	set.StopsPerPass, set.TrialTasks = 20, 100
-	b := NewBoard(WorstFit{}, Declared{}, Peers{Least: 6}, set)
+	b := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 1<<20))
 	b.SetContract(teamContract(1, 1<<20))
@@ -338,8 +338,8 @@
 // of the present one.
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
 	f := newFake(1, 1)
-	start := func(term int) (*Board[BestFit, Declared, Trust], int) {
-		b := NewBoard(BestFit{}, Declared{}, Trust{}, Defaults())
+	start := func(term int) (*Placer[BestFit, Declared, NoQuarantine], int) {
+		b := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 		f.fill(b)
 		b.SetContract(teamContract(0, 64000))
 		b.TakeOver(term, f.now)
@@ -362,7 +362,7 @@
 	f := newFake(1, 4)
 	set := Defaults()
 	set.AsidePercent = 100
-	b := NewBoard(BestFit{}, Declared{}, Streak{N: 1}, set)
+	b := NewPlacer(BestFit{}, Declared{}, ConsecutiveFailures{N: 1}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 64000))
 	x := f.add(0, 1, 1000, clock.Second, 100)
@@ -383,9 +383,9 @@
 // judged runs 300 tasks on 12 workers, one of which fails everything it is
 // given, or with one class in four that fails everywhere. It returns the runs
 // lost to the worker and the workers that were set aside.
-func judged[J Judge](j J, seed uint64, badWorker, badClass bool) (lost int, aside []WorkerID) {
+func judged[J HealthPolicy](j J, seed uint64, badWorker, badClass bool) (lost int, aside []WorkerID) {
 	f := newFake(seed, 12)
-	b := NewBoard(WorstFit{}, NewQuantile(90), j, Defaults())
+	b := NewPlacer(WorstFit{}, NewQuantile(90), j, Defaults())
 	f.fill(b)
 	for k := range 4 {
 		b.SetContract(teamContract(k, 1<<20))
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -11,7 +11,7 @@
 
 var fleets = []struct {
 	name   string
-	covers model.Domain
+	covers model.FailureDomain
 	sizes  []int
 }{{"pruefkette", model.DomainRack, []int{8, 9, 8, 8, 9}}, {"pomar-alto", model.DomainZone, []int{8, 8, 9, 9, 8}}}
 
@@ -26,7 +26,7 @@
 	}
 }
 
-func repair[P Policy](b *testing.B, name string, p P, covers model.Domain, sizes []int) {
+func repair[P Policy](b *testing.B, name string, p P, covers model.FailureDomain, sizes []int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 20
 		var moves, idle, missing, exposed, refused float64
@@ -35,7 +35,7 @@
 			for seed := range uint64(seeds) {
 				w := newWorld(seed, 54, 3, users(covers, 8, sizes...))
 				settle := func() {
-					a := Decide(p, Settings{ExchangeMoves: 8}, w.book, nil)
+					a := Decide(p, Settings{MaxExchangeMoves: 8}, w.book, nil)
 					refused += float64(w.release(a.Moves) + w.finish())
 					m, e := missingOf(a)
 					missing, exposed, idle = missing+float64(m), exposed+float64(e), idle+float64(a.Idle)/4
@@ -98,9 +98,9 @@
 		surges(b, u.name+"/queue-only", QueueOnly{}, u.w, u.sizes)
 		surges(b, u.name+"/eager", Eager{}, u.w, u.sizes)
 		surges(b, u.name+"/cheapest", Cheapest{}, u.w, u.sizes)
-		u.w.HoldMillis = 0
+		u.w.ReturnDelayMillis = 0
 		surges(b, u.name+"/cheapest-no-hold", Cheapest{}, u.w, u.sizes)
-		u.w.HoldMillis, u.w.Donate = 10*clock.Second, true
+		u.w.ReturnDelayMillis, u.w.Donate = 10*clock.Second, true
 		surges(b, u.name+"/cheapest-donate", Cheapest{}, u.w, u.sizes)
 	}
 }
@@ -152,7 +152,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	book := NewBook(w.contracts)
+	book := NewFleetIndex(w.contracts)
 	in := w.input()
 	for _, i := range in.Instances {
 		book.SetInstance(i, false)
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -13,7 +13,7 @@
 	left := s.remaining(p)
 	c.Queue = s.waitCost(p, 0, left)
 	h := s.hold[p]
-	want := int(math.Ceil(s.excess(p) / float64(h.Slots)))
+	want := int(math.Ceil(s.excess(p) / float64(h.SlotsPerInstance)))
 	room := min(s.lendable(h.Spare), s.within(h.Spare))
 	for n := 1; n <= min(want, room); n++ {
 		cost := s.waitCost(p, n, left) + float64(n)*(2*s.w.MoveCost+s.w.BufferCost*s.absence(left))
@@ -47,7 +47,7 @@
 
 // absence is how many seconds a lent instance is away from the spare.
 func (s *surge) absence(left clock.Millis) float64 {
-	return float64(max(left, s.w.MoveMillis)+s.w.HoldMillis+s.w.MoveMillis) / 1000
+	return float64(max(left, s.w.MoveMillis)+s.w.ReturnDelayMillis+s.w.MoveMillis) / 1000
 }
 
 // waitCost is the cost of waiting and refusals when n instances are added
@@ -62,9 +62,9 @@
 			return
 		}
 		end := max(0, waiting+excess/service*seconds)
-		if over := end - d.Queue; d.Queue > 0 && over > 0 {
+		if over := end - d.QueueLimit; d.QueueLimit > 0 && over > 0 {
 			refused += over
-			end = d.Queue
+			end = d.QueueLimit
 		}
 		area += (waiting + end) / 2 * seconds
 		waiting = end
@@ -75,12 +75,12 @@
 		lead = left
 	}
 	phase(excess, float64(lead)/1000)
-	phase(excess-float64(n*h.Slots), float64(left-lead)/1000)
+	phase(excess-float64(n*h.SlotsPerInstance), float64(left-lead)/1000)
 	if left <= lead {
 		// The instances arrive after the peak and help to serve the queue only.
 		n = 0
 	}
-	slots := float64(max(1, (h.Have+n)*h.Slots))
+	slots := float64(max(1, (h.Instances+n)*h.SlotsPerInstance))
 	area += waiting * waiting * service / slots / 2
 	return area*s.w.WaitCost + refused*s.w.RefuseCost
 }
@@ -93,20 +93,20 @@
 	if !ok || s.excess(p) > 0 {
 		return 0
 	}
-	left := int(math.Ceil(d.Now * 100 / float64(max(1, s.w.LowPercent)*h.Slots)))
-	return max(0, min(h.Have, h.Promised)-s.away[p]-max(left, 1))
+	left := int(math.Ceil(d.NeededSlots * 100 / float64(max(1, s.w.LowPercent)*h.SlotsPerInstance)))
+	return max(0, min(h.Instances, h.Promised)-s.away[p]-max(left, 1))
 }
 
 // risk is the expected cost of a peak at the donor while its instances are
 // away: services peak in turn, so it has a peak with a chance in proportion to
 // the time away.
 func (s *surge) risk(p Pool, n int, left clock.Millis) float64 {
-	if s.w.PeakEveryMillis <= 0 {
+	if s.w.PeakIntervalMillis <= 0 {
 		return 0
 	}
 	away := s.absence(left) * 1000
-	chance := min(1, away/float64(s.w.PeakEveryMillis))
-	short := float64(n * s.hold[p].Slots)
+	chance := min(1, away/float64(s.w.PeakIntervalMillis))
+	short := float64(n * s.hold[p].SlotsPerInstance)
 	service := float64(max(s.demand[p].ServiceMillis, 1)) / 1000
 	peak := float64(s.w.PeakMillis) / 1000
 	return chance * s.w.WaitCost * short / service * peak * peak / 2
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -4,20 +4,20 @@
 
 // Settings are the choices of an operator that concern assignments.
 type Settings struct {
-	// Borrow lets a customer's repair use spare instances that are reserved
+	// BorrowReserve lets a customer's repair use spare instances that are reserved
 	// for other customers of the same spare pool.
-	Borrow bool
-	// ExchangeMoves bounds the moves of one decision that only lower the
+	BorrowReserve bool
+	// MaxExchangeMoves bounds the moves of one decision that only lower the
 	// exposure to a loss. Each of them is a disruption of its own.
-	ExchangeMoves int
+	MaxExchangeMoves int
 }
 
 // Extra asks for instances beyond what contracts promise, at the expense of
 // another pool.
 type Extra struct {
-	Pool Pool
-	From Pool
-	N    int
+	Pool  Pool
+	From  Pool
+	Count int
 }
 
 // Pool is short for the name of a pool.
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -25,17 +25,17 @@
 	MoveMillis clock.Millis
 	// PeakMillis is how long a peak lasts as a rule; at least 1.
 	PeakMillis clock.Millis
-	// PeakEveryMillis is the time from one peak of a service to the next.
-	PeakEveryMillis clock.Millis
-	// HoldMillis is how long demand must stay low before instances go back.
-	HoldMillis clock.Millis
+	// PeakIntervalMillis is the time from one peak of a service to the next.
+	PeakIntervalMillis clock.Millis
+	// ReturnDelayMillis is how long demand must stay low before instances go back.
+	ReturnDelayMillis clock.Millis
 	// LowPercent of the promised capacity is the demand below which a pool
 	// counts as low. It is below 100, so that a demand near the capacity does
 	// not move instances to and fro.
 	LowPercent int
-	// Keep is the number of instances that each spare pool never lends: the
+	// MinSpare is the number of instances that each spare pool never lends: the
 	// loss that must stay covered during a surge.
-	Keep int
+	MinSpare int
 	// Donate lets a pool give up promised instances to another pool of the
 	// same spare while its own demand is low.
 	Donate bool
@@ -44,13 +44,13 @@
 // Demand is what one pool's callers ask for.
 type Demand struct {
 	Pool Pool
-	// Now is the number of slots that would be busy if all were served.
-	Now float64
+	// NeededSlots is the number of slots that would be busy if all were served.
+	NeededSlots float64
 	// ServiceMillis is how long one request takes; at least 1.
 	ServiceMillis clock.Millis
 	// Waiting is the number of requests in queues, and Queue its bound.
-	Waiting float64
-	Queue   float64
+	Waiting    float64
+	QueueLimit float64
 	// HighSince is when demand rose above the pool's slots; 0 while it is not
 	// above. LowSince is when it fell below LowPercent; 0 likewise.
 	HighSince clock.Millis
@@ -62,14 +62,14 @@
 	Pool Pool
 	// Spare names the pool's spare pool; empty for none, and for spare pools.
 	Spare Pool
-	// Have counts the instances that serve the pool and those on their way
+	// Instances counts the instances that serve the pool and those on their way
 	// to it.
-	Have int
+	Instances int
 	// Promised is the sum over contracts; for a spare pool it is the reserve.
 	Promised int
-	// Slots is the number of requests that one instance runs at once; at
+	// SlotsPerInstance is the number of requests that one instance runs at once; at
 	// least 1.
-	Slots int
+	SlotsPerInstance int
 }
 
 // Action is what to do about a surge.
@@ -184,7 +184,7 @@
 	var extras []Extra
 	for key, n := range s.extra {
 		if n > 0 {
-			extras = append(extras, Extra{Pool: key[0], From: key[1], N: n})
+			extras = append(extras, Extra{Pool: key[0], From: key[1], Count: n})
 		}
 	}
 	slices.SortFunc(extras, func(a, b Extra) int { return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.From, b.From)) })
@@ -206,7 +206,7 @@
 // excess is the number of slots that demand exceeds what the pool holds by.
 func (s *surge) excess(p Pool) float64 {
 	h := s.hold[p]
-	return s.demand[p].Now - float64(h.Have*h.Slots)
+	return s.demand[p].NeededSlots - float64(h.Instances*h.SlotsPerInstance)
 }
 
 func (s *surge) grant(to, from Pool, n int) {
@@ -218,20 +218,20 @@
 // been low for long enough or its spare pool has to call them back.
 func (s *surge) keep(p Pool) {
 	h := s.hold[p]
-	extra := h.Have - h.Promised
+	extra := h.Instances - h.Promised
 	if extra <= 0 || s.settled(p) {
 		return
 	}
 	// What pools hold beyond their promise came from the spare as far as the
 	// spare is short, and from donors beyond that.
 	spare := s.hold[h.Spare]
-	lent := max(0, min(extra, spare.Promised-spare.Have-s.away[h.Spare], s.lendable(h.Spare)))
+	lent := max(0, min(extra, spare.Promised-spare.Instances-s.away[h.Spare], s.lendable(h.Spare)))
 	if h.Spare != "" && lent > 0 {
 		s.grant(p, h.Spare, lent)
 		extra -= lent
 	}
 	for _, d := range s.donors(p) {
-		short := s.hold[d].Promised - s.hold[d].Have - s.away[d]
+		short := s.hold[d].Promised - s.hold[d].Instances - s.away[d]
 		if n := min(extra, short); n > 0 && s.excess(d) <= 0 {
 			s.grant(p, d, n)
 			extra -= n
@@ -246,10 +246,10 @@
 	if spare == "" {
 		return 0
 	}
-	n := s.hold[spare].Have - s.w.Keep - s.away[spare]
+	n := s.hold[spare].Instances - s.w.MinSpare - s.away[spare]
 	for _, h := range s.hold {
 		if h.Spare == spare {
-			n += h.Have - h.Promised
+			n += h.Instances - h.Promised
 		}
 	}
 	return max(0, n)
@@ -259,10 +259,10 @@
 // in it, and those that pools hold beyond their promise while their demand is
 // low.
 func (s *surge) within(spare Pool) int {
-	n := s.hold[spare].Have - s.fresh[spare]
+	n := s.hold[spare].Instances - s.fresh[spare]
 	for p, h := range s.hold {
 		if h.Spare == spare && s.demand[p].LowSince > 0 {
-			n += max(0, h.Have-h.Promised)
+			n += max(0, h.Instances-h.Promised)
 		}
 	}
 	return n
@@ -271,7 +271,7 @@
 // settled reports whether the pool's demand has been low for HoldMillis.
 func (s *surge) settled(p Pool) bool {
 	d := s.demand[p]
-	return d.LowSince > 0 && d.HighSince == 0 && s.now-d.LowSince >= s.w.HoldMillis
+	return d.LowSince > 0 && d.HighSince == 0 && s.now-d.LowSince >= s.w.ReturnDelayMillis
 }
 
 // donors lists the pools with the same spare, in ascending order.
@@ -291,7 +291,7 @@
 // rest describes a pool whose demand fits its slots.
 func (s *surge) rest(p Pool) Choice {
 	c := Choice{Pool: p, Action: ActionNone}
-	extra := s.hold[p].Have - s.hold[p].Promised
+	extra := s.hold[p].Instances - s.hold[p].Promised
 	kept := 0
 	for key, n := range s.extra {
 		if key[0] == p {
@@ -307,7 +307,7 @@
 		c.Reason = fmt.Sprintf("%d instances are needed elsewhere", extra-kept)
 	case extra > 0:
 		c.Action = ActionKeep
-		c.Reason = fmt.Sprintf("demand was not below %d%% of the promised slots for %d ms yet", s.w.LowPercent, s.w.HoldMillis)
+		c.Reason = fmt.Sprintf("demand was not below %d%% of the promised slots for %d ms yet", s.w.LowPercent, s.w.ReturnDelayMillis)
 	}
 	return c
 }
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -31,7 +31,7 @@
 	r.w.finish()
 	r.w.moves = 0
 	for k := range r.demand {
-		r.demand[k] = Demand{Pool: Pool(fmt.Sprintf("p%d", k)), ServiceMillis: 200, Queue: 2000}
+		r.demand[k] = Demand{Pool: Pool(fmt.Sprintf("p%d", k)), ServiceMillis: 200, QueueLimit: 2000}
 		r.length[k] = clock.Millis(5+r.w.rnd.IntN(15)) * clock.Second
 	}
 	return r
@@ -43,9 +43,9 @@
 func (r *surgeRun) ask(k, promised int, low int) {
 	d := &r.demand[k]
 	mean := 0.3 * float64(promised*8)
-	d.Now = mean / 20
+	d.NeededSlots = mean / 20
 	if at := (r.now + clock.Millis(5-k)*12*clock.Second) % clock.Minute; at < r.length[k] {
-		d.Now = 5 * mean
+		d.NeededSlots = 5 * mean
 	}
 	since := func(t *clock.Millis, on bool) {
 		if !on {
@@ -54,16 +54,16 @@
 			*t = r.now
 		}
 	}
-	since(&d.HighSince, d.Now > float64(r.serving[k]*8))
-	since(&d.LowSince, d.Now < float64(promised*8*low)/100)
+	since(&d.HighSince, d.NeededSlots > float64(r.serving[k]*8))
+	since(&d.LowSince, d.NeededSlots < float64(promised*8*low)/100)
 }
 
 func (r *surgeRun) holdings() (out []Holding) {
 	a := r.w.book.l
 	for _, p := range r.w.contracts[0].Pools {
-		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Have: a.have[p.Pool], Promised: p.Instances, Slots: 8})
+		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Instances: a.have[p.Pool], Promised: p.Instances, SlotsPerInstance: 8})
 	}
-	return append(out, Holding{Pool: "spare", Have: a.have["spare"], Promised: r.w.contracts[0].Spare, Slots: 8})
+	return append(out, Holding{Pool: "spare", Instances: a.have["spare"], Promised: r.w.contracts[0].Spare, SlotsPerInstance: 8})
 }
 
 // second lets one second pass: a decision, its moves, and the queues.
@@ -74,7 +74,7 @@
 	_, extras := Surge(c, w, r.holdings(), r.demand[:], r.now)
 	moves := Decide(Spread{}, Settings{}, r.w.book, extras).Moves
 	r.breaches += r.w.release(moves)
-	if r.w.book.l.have["spare"] < w.Keep {
+	if r.w.book.l.have["spare"] < w.MinSpare {
 		r.breaches++
 	}
 	r.lent += float64(max(0, r.w.contracts[0].Spare-r.w.book.l.have["spare"]))
@@ -93,11 +93,11 @@
 			r.breaches++
 		}
 		d := &r.demand[k]
-		arrive := d.Now * 1000 / float64(d.ServiceMillis)
+		arrive := d.NeededSlots * 1000 / float64(d.ServiceMillis)
 		r.requests += arrive
 		d.Waiting = max(0, d.Waiting+arrive-float64(r.serving[k]*8*5))
-		r.refused += max(0, d.Waiting-d.Queue)
-		d.Waiting = min(d.Waiting, d.Queue)
+		r.refused += max(0, d.Waiting-d.QueueLimit)
+		d.Waiting = min(d.Waiting, d.QueueLimit)
 		r.waited += d.Waiting
 	}
 }
@@ -108,8 +108,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := newSurge(rapid.Uint64().Draw(t, "seed"), 8, 9, 8, 8, 9)
 		w := RolloutFirst()
-		w.Keep = rapid.IntRange(0, 8).Draw(t, "keep")
-		w.HoldMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
+		w.MinSpare = rapid.IntRange(0, 8).Draw(t, "keep")
+		w.ReturnDelayMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
 		minutes := 3
 		for range 60 * minutes {
 			second(r, Eager{}, w)
@@ -117,7 +117,7 @@
 		if r.breaches > 0 {
 			t.Fatalf("%d breaches", r.breaches)
 		}
-		if most := 2 * (8 - w.Keep) * 5 * (minutes + 1); r.w.moves > most {
+		if most := 2 * (8 - w.MinSpare) * 5 * (minutes + 1); r.w.moves > most {
 			t.Fatalf("%d moves in %d minutes; one loan of each instance for each peak is %d", r.w.moves, minutes, most)
 		}
 	})
@@ -127,7 +127,7 @@
 // a reason that names no cost.
 func TestPreferencesDecide(t *testing.T) {
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
-	demand := Demand{Pool: "p", Now: 96, ServiceMillis: 200, Queue: 2000, HighSince: 1000}
+	demand := Demand{Pool: "p", NeededSlots: 96, ServiceMillis: 200, QueueLimit: 2000, HighSince: 1000}
 	for _, c := range []struct {
 		name   string
 		w      Weights
@@ -144,11 +144,11 @@
 	choices, _ := Surge(Cheapest{}, BufferFirst(), holdings, []Demand{demand}, 10*clock.Minute)
 	assert.Equal(t, choices[0].Action, ActionLend)
 	// What is in place stays until demand has been low for long enough.
-	holdings[0].Have, holdings[1].Have = 10, 6
-	demand.Now, demand.HighSince, demand.LowSince = 10, 0, 5000
+	holdings[0].Instances, holdings[1].Instances = 10, 6
+	demand.NeededSlots, demand.HighSince, demand.LowSince = 10, 0, 5000
 	choices, extras := Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 6000)
 	assert.Equal(t, choices[0].Action, ActionKeep)
-	assert.DeepEqual(t, extras, []Extra{{Pool: "p", From: "spare", N: 2}})
+	assert.DeepEqual(t, extras, []Extra{{Pool: "p", From: "spare", Count: 2}})
 	choices, extras = Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 15000)
 	assert.Equal(t, choices[0].Action, ActionReturn)
 	assert.Equal(t, len(extras), 0)
@@ -158,15 +158,15 @@
 // preference that lets pools give up promised ones.
 func TestDonorsKeepWhatTheyUse(t *testing.T) {
 	w := RolloutFirst()
-	w.Donate, w.Keep = true, 8
+	w.Donate, w.MinSpare = true, 8
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"q", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
 	for _, c := range []struct {
 		busy   float64
 		action Action
 	}{{3, ActionMove}, {60, ActionQueue}} {
 		choices, _ := Surge(Cheapest{}, w, holdings, []Demand{
-			{Pool: "p", Now: 96, ServiceMillis: 200, HighSince: 1000},
-			{Pool: "q", Now: c.busy, ServiceMillis: 200},
+			{Pool: "p", NeededSlots: 96, ServiceMillis: 200, HighSince: 1000},
+			{Pool: "q", NeededSlots: c.busy, ServiceMillis: 200},
 		}, 2000)
 		assert.Equal(t, choices[0].Action, c.action, "%v", choices[0])
 	}
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -41,8 +41,8 @@
 	Member Member
 	// Match is the last index known to be on the member's disk.
 	Match uint64
-	// Recent is true when the member was heard within an election timeout.
-	Recent bool
+	// RecentlyActive is true when the member was heard within an election timeout.
+	RecentlyActive bool
 	// CaughtUp is true when the member may be promoted.
 	CaughtUp bool
 }
@@ -65,15 +65,15 @@
 	var list []PeerStatus
 	for _, m := range n.Members() {
 		if p := n.peers[m.ID]; p != nil {
-			list = append(list, PeerStatus{Member: m, Match: p.match, Recent: n.recent(m.ID), CaughtUp: n.caughtUp(m.ID)})
+			list = append(list, PeerStatus{Member: m, Match: p.match, RecentlyActive: n.recent(m.ID), CaughtUp: n.caughtUp(m.ID)})
 		}
 	}
 	return list
 }
 
-// Meta describes a snapshot of the state at an applied index; ok is false when
+// SnapshotMetaAt describes a snapshot of the state at an applied index; ok is false when
 // the log no longer reaches back to it.
-func (n *Node) Meta(index uint64) (meta SnapshotMeta, ok bool) {
+func (n *Node) SnapshotMetaAt(index uint64) (meta SnapshotMeta, ok bool) {
 	term, ok := n.log.term(index)
 	if !ok || index > n.applied || index < n.lists[0].index {
 		return SnapshotMeta{}, false
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -27,8 +27,8 @@
 const (
 	// EntryChange carries an encoded change.
 	EntryChange EntryKind = iota
-	// EntryNone is the empty entry that starts a leader's term.
-	EntryNone
+	// EntryNoOp is the empty entry that starts a leader's term.
+	EntryNoOp
 	// EntryMembers carries the encoded member list that is in force from this
 	// entry on.
 	EntryMembers
@@ -129,8 +129,8 @@
 	return roleNames[r]
 }
 
-// Stored is what a member finds in its data folder at start.
-type Stored struct {
+// StoredState is what a member finds in its data folder at start.
+type StoredState struct {
 	Self     Member
 	Hard     HardState
 	Snapshot SnapshotMeta
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -158,7 +158,7 @@
 }
 
 func (w *world) start(h *host) {
-	h.node = New(w.cfg, Stored{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
+	h.node = New(w.cfg, StoredState{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
 	h.load(h.disk.snap, h.disk.data)
 	h.commit = 0
 	h.waiting, h.reading, h.writing = map[uint64]waiter{}, map[uint64]int{}, nil
@@ -288,7 +288,7 @@
 }
 
 func (w *world) snapshot(h *host) {
-	meta, ok := h.node.Meta(h.applied)
+	meta, ok := h.node.SnapshotMetaAt(h.applied)
 	if !ok {
 		// The log was replaced while these entries were being written.
 		if h.node.install == nil {
@@ -365,7 +365,7 @@
 	w.stamp++
 	record := porcupine.Operation{ClientId: op, Input: q, Call: w.stamp, Output: int64(-1), Return: forever}
 	if q.kind == opRead {
-		if h.node.Read(uint64(op), w.now) != nil {
+		if h.node.ReadIndex(uint64(op), w.now) != nil {
 			return
 		}
 		h.reading[uint64(op)] = op
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -32,8 +32,8 @@
 // learn updates the score of an upstream and ejects it when it fails against
 // its peers.
 func (r *Router[P]) learn(now clock.Millis, u *Upstream, o Outcome) bool {
-	if u.Returning && !u.Ejected(now) {
-		u.Returning, u.Score = false, returnScore
+	if u.ScoreResetPending && !u.Ejected(now) {
+		u.ScoreResetPending, u.Score = false, returnScore
 	}
 	switch o {
 	case OutcomeCancelled, OutcomeBusy:
@@ -41,7 +41,7 @@
 	case OutcomeOK:
 		u.Score -= failWeight * u.Score
 		if now-u.EjectedUntil > forgiveAfter {
-			u.Ejections = 0
+			u.ConsecutiveEjections = 0
 		}
 		return false
 	case OutcomeConnect:
@@ -75,11 +75,11 @@
 	if u.Score <= 2*peers/float64(len(g.members)-1)+peerMargin {
 		return false
 	}
-	d := min(ejectBase<<min(u.Ejections, 10), ejectMost)
-	u.Ejections++
+	d := min(ejectBase<<min(u.ConsecutiveEjections, 10), ejectMost)
+	u.ConsecutiveEjections++
 	u.EjectedUntil = now + d
-	u.Since = u.EjectedUntil
-	u.Returning = true
+	u.RoutableSince = u.EjectedUntil
+	u.ScoreResetPending = true
 	if !slices.Contains(r.ejected, u) {
 		r.ejected = append(r.ejected, u)
 	}
@@ -105,6 +105,6 @@
 		if next == nil || in >= (len(g.members)+1)/2 {
 			return
 		}
-		next.EjectedUntil, next.Since = now, now
+		next.EjectedUntil, next.RoutableSince = now, now
 	}
 }
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -19,9 +19,9 @@
 	return before
 }
 
-// Stocks appends the upstreams of a pool that are not ejected, as a lender
+// PoolUpstreamSlots appends the upstreams of a pool that are not ejected, as a lender
 // sees them.
-func (r *Router[P]) Stocks(now clock.Millis, p model.Pool, waiting int, buf []lend.Stock) []lend.Stock {
+func (r *Router[P]) PoolUpstreamSlots(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
 	g := r.pools[p]
 	if g == nil {
 		return buf
@@ -36,29 +36,29 @@
 	return buf
 }
 
-// Stock returns a routable upstream as a lender sees it.
-func (r *Router[P]) Stock(id model.InstanceID, waiting func(model.Pool) int) (lend.Stock, bool) {
+// UpstreamSlots returns a routable upstream as a lender sees it.
+func (r *Router[P]) UpstreamSlots(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
 	u := r.upstreams[id]
 	if u == nil || u.Pool == "" {
-		return lend.Stock{}, false
+		return lend.UpstreamSlots{}, false
 	}
 	return u.stock(waiting(u.Pool)), true
 }
 
-func (u *Upstream) stock(waiting int) lend.Stock {
-	return lend.Stock{
+func (u *Upstream) stock(waiting int) lend.UpstreamSlots {
+	return lend.UpstreamSlots{
 		Loan: lend.Loan{
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
 			Incarnation: u.Incarnation, HealthPath: u.HealthPath, Slots: u.Slots,
 		},
-		Lendable: u.Lendable, PerSlot: u.PerSlot, Peak: max(u.Peak, u.Past), Running: u.Running,
+		Lendable: u.Lendable, ConnectionsPerSlot: u.ConnectionsPerSlot, PeakRunning: max(u.Peak, u.PreviousPeak), Running: u.Running,
 		Lent: u.Lent, Waiting: waiting,
 	}
 }
 
-// Roll begins a new time span for the peaks of all upstreams.
-func (r *Router[P]) Roll() {
+// RotatePeaks begins a new time span for the peaks of all upstreams.
+func (r *Router[P]) RotatePeaks() {
 	for _, u := range r.upstreams {
-		u.Past, u.Peak = u.Peak, u.Running
+		u.PreviousPeak, u.Peak = u.Peak, u.Running
 	}
 }
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -25,7 +25,7 @@
 	for i := range n {
 		id := model.InstanceID(fmt.Sprint("i", i))
 		r.SetInstance(0, entryOf(id, 1), 0)
-		r.SetMember(0, announced(id, 1), true)
+		r.SetAnnouncement(0, announced(id, 1), true)
 	}
 	return r
 }
@@ -44,9 +44,9 @@
 			i, a := entryOf("i", 1), announced("i", 1)
 			i.Slots, i.Connections, a.Slots = slots, conns, rapid.IntRange(1, 64).Draw(t, "announced")
 			r.SetInstance(0, i, 0)
-			r.SetMember(0, a, true)
+			r.SetAnnouncement(0, a, true)
 			for {
-				h, ok := r.Pick(start, "p", "")
+				h, ok := r.Reserve(start, "p", "")
 				if !ok {
 					break
 				}
@@ -76,18 +76,18 @@
 	} {
 		r := pool(LeastLoaded{}, 1)
 		i, a, live := entryOf("i0", 2), announced("i0", 1), true
-		_, ok := r.Pick(start, "p", "")
+		_, ok := r.Reserve(start, "p", "")
 		assert.Assert(t, ok)
 		change(&i, &a, &live)
 		r.SetInstance(start, i, 1)
-		r.SetMember(start, a, live)
+		r.SetAnnouncement(start, a, live)
 		for _, p := range []model.Pool{"p", "q"} {
-			_, ok = r.Pick(start, p, "")
+			_, ok = r.Reserve(start, p, "")
 			assert.Assert(t, !ok, name)
 		}
 		r.SetInstance(start, entryOf("i0", 3), 2)
-		r.SetMember(start, announced("i0", 1), true)
-		_, ok = r.Pick(start, "p", "")
+		r.SetAnnouncement(start, announced("i0", 1), true)
+		_, ok = r.Reserve(start, "p", "")
 		assert.Assert(t, ok, "%s: it did not come back", name)
 	}
 }
@@ -98,7 +98,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
 		type flight struct {
-			held Held
+			held Reservation
 			// until is the highest version that may be confirmed while the
 			// request runs.
 			until model.Version
@@ -109,7 +109,7 @@
 		r.Version = v
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(*rapid.T) {
-				if h, ok := r.Pick(start, "p", ""); ok {
+				if h, ok := r.Reserve(start, "p", ""); ok {
 					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
 					flights = append(flights, &flight{held: h, until: 1 << 40})
 				}
@@ -166,9 +166,9 @@
 						old++
 					}
 				}
-				assert.Assert(t, r.Drained() <= want, "%d was confirmed, %d is the most", r.Drained(), want)
+				assert.Assert(t, r.DrainedVersion() <= want, "%d was confirmed, %d is the most", r.DrainedVersion(), want)
 				if old == 0 || !again {
-					assert.Equal(t, r.Drained(), want)
+					assert.Equal(t, r.DrainedVersion(), want)
 				}
 			},
 		})
@@ -188,7 +188,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"request": func(t *rapid.T) {
-				h, ok := r.Pick(now, "p", "")
+				h, ok := r.Reserve(now, "p", "")
 				assert.Assert(t, ok)
 				r.End(now, h, Outcome(rapid.IntRange(0, 6).Draw(t, "outcome")))
 			},
@@ -204,7 +204,7 @@
 					t.Skip()
 				}
 				live[i] = !live[i]
-				r.SetMember(now, announced(model.InstanceID(fmt.Sprint("i", i)), 1), live[i])
+				r.SetAnnouncement(now, announced(model.InstanceID(fmt.Sprint("i", i)), 1), live[i])
 			},
 			"time": func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "ms")) },
 			"": func(t *rapid.T) {
@@ -217,7 +217,7 @@
 					}
 				}
 				assert.Assert(t, in >= (len(members)+1)/2, "%d of %d are in", in, len(members))
-				assert.Assert(t, r.Room(now, "p") > 0)
+				assert.Assert(t, r.Capacity(now, "p") > 0)
 			},
 		})
 	})
@@ -230,7 +230,7 @@
 		r := pool(LeastLoaded{}, 4)
 		failed := 0
 		for range 400 {
-			h, ok := r.Pick(start, "p", "")
+			h, ok := r.Reserve(start, "p", "")
 			assert.Assert(t, ok)
 			if h.Upstream.Instance == "i2" {
 				failed++
@@ -240,19 +240,19 @@
 			r.End(start, h, OutcomeOK)
 		}
 		assert.Assert(t, failed <= 4, "%d requests went to the failing upstream", failed)
-		assert.Equal(t, r.Room(start, "p"), 24)
+		assert.Equal(t, r.Capacity(start, "p"), 24)
 		// It comes back slowly.
 		back := start + ejectBase
 		assert.Equal(t, len(r.Restored(start, nil)), 0)
 		assert.Equal(t, len(r.Restored(back, nil)), 1)
 		assert.Equal(t, len(r.Restored(back, nil)), 0)
-		assert.Equal(t, r.Room(back, "p"), 25)
-		assert.Equal(t, r.Room(back+SlowStart, "p"), 32)
+		assert.Equal(t, r.Capacity(back, "p"), 25)
+		assert.Equal(t, r.Capacity(back+SlowStart, "p"), 32)
 
 		r = pool(LeastLoaded{}, 4)
 		ejected := 0
 		for range 400 {
-			h, _ := r.Pick(start, "p", "")
+			h, _ := r.Reserve(start, "p", "")
 			if r.End(start, h, o) {
 				ejected++
 			}
@@ -269,8 +269,8 @@
 // being counted against the present one.
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
-	h, _ := r.Pick(start, "p", "i0")
-	r.SetMember(start, announced(h.Upstream.Instance, 2), true)
+	h, _ := r.Reserve(start, "p", "i0")
+	r.SetAnnouncement(start, announced(h.Upstream.Instance, 2), true)
 	assert.Assert(t, !r.End(start, h, OutcomeConnect))
 	assert.Equal(t, h.Upstream.Score, 0.0)
 	assert.Equal(t, h.Upstream.Running, 0)
@@ -280,17 +280,17 @@
 // process that has just started holding everybody back.
 func TestSlowStart(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
-	assert.Equal(t, r.Room(0, "p"), 16)
+	assert.Equal(t, r.Capacity(0, "p"), 16)
 	r.SetInstance(start, entryOf("new", 2), 1)
-	r.SetMember(start, announced("new", 1), true)
-	assert.Equal(t, r.Room(start, "p"), 17)
-	assert.Equal(t, r.Room(start+SlowStart/2, "p"), 20)
-	assert.Equal(t, r.Room(start+SlowStart, "p"), 24)
+	r.SetAnnouncement(start, announced("new", 1), true)
+	assert.Equal(t, r.Capacity(start, "p"), 17)
+	assert.Equal(t, r.Capacity(start+SlowStart/2, "p"), 20)
+	assert.Equal(t, r.Capacity(start+SlowStart, "p"), 24)
 }
 
 // Guards against a choice that ignores load; the baseline does.
 func TestLeastLoadedEvensOut(t *testing.T) {
-	uneven := func(pick func() (Held, bool), end func(Held)) int {
+	uneven := func(pick func() (Reservation, bool), end func(Reservation)) int {
 		// Requests on i0 never end; all others end at once.
 		stuck := 0
 		for range 100 {
@@ -303,11 +303,11 @@
 		}
 		return stuck
 	}
-	a, b := pool(LeastLoaded{}, 3), pool(&TakeTurns{}, 3)
-	least := uneven(func() (Held, bool) { return a.Pick(start, "p", "") }, func(h Held) { a.End(start, h, OutcomeOK) })
-	turns := uneven(func() (Held, bool) { return b.Pick(start, "p", "") }, func(h Held) { b.End(start, h, OutcomeOK) })
+	a, b := pool(LeastLoaded{}, 3), pool(&RoundRobin{}, 3)
+	least := uneven(func() (Reservation, bool) { return a.Reserve(start, "p", "") }, func(h Reservation) { a.End(start, h, OutcomeOK) })
+	turns := uneven(func() (Reservation, bool) { return b.Reserve(start, "p", "") }, func(h Reservation) { b.End(start, h, OutcomeOK) })
 	assert.Equal(t, least, 1)
 	assert.Equal(t, turns, 8)
-	h, ok := a.Pick(start, "p", "i1")
+	h, ok := a.Reserve(start, "p", "i1")
 	assert.Assert(t, ok && h.Upstream.Instance == "i2")
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -34,10 +34,10 @@
 	blocked map[model.InstanceID]*Upstream
 	// Version is the version of the table in force.
 	Version model.Version
-	// Quarantine says that the lendable slots may be in use under loans of an
+	// LoansUncertain says that the lendable slots may be in use under loans of an
 	// earlier run of this process.
-	Quarantine bool
-	candidates []Candidate
+	LoansUncertain bool
+	candidates     []Candidate
 	// ejected lists the upstreams whose return was not reported yet.
 	ejected []*Upstream
 }
@@ -96,13 +96,13 @@
 	r.refresh(now, u)
 }
 
-// SetMember puts an announcement in force; live is false once its lease
+// SetAnnouncement puts an announcement in force; live is false once its lease
 // lapsed.
-func (r *Router[P]) SetMember(now clock.Millis, a model.Announcement, live bool) {
+func (r *Router[P]) SetAnnouncement(now clock.Millis, a model.Announcement, live bool) {
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.member.Incarnation {
 		// A new process starts with a clean record and a slow start.
-		u.Score, u.EjectedUntil, u.Ejections, u.Returning, u.Since = 0, 0, 0, false, now
+		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
 	}
 	u.member, u.live = a, live
 	r.refresh(now, u)
@@ -120,10 +120,10 @@
 // release starts a new generation: the requests in flight hold up the release.
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
-	u.Old = u.Running
-	if u.Old > 0 || u.Lent > 0 {
-		if u.Blocked == 0 {
-			u.Blocked = v
+	u.OldRunning = u.Running
+	if u.OldRunning > 0 || u.Lent > 0 {
+		if u.BlockedRelease == 0 {
+			u.BlockedRelease = v
 		}
 		r.blocked[u.Instance] = u
 	}
@@ -133,7 +133,7 @@
 func (r *Router[P]) refresh(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
 	if r.cfg.Lending {
-		u.Connections, u.Lendable, u.PerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
+		u.Connections, u.Lendable, u.ConnectionsPerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
 	}
 	u.Address, u.Incarnation, u.HealthPath = u.member.Address, u.member.Incarnation, u.member.HealthPath
 	pool := u.routable(r.cfg.Zone)
@@ -141,7 +141,7 @@
 		r.leave(now, u)
 		u.Pool = pool
 		if pool != "" {
-			u.Since = now
+			u.RoutableSince = now
 			g := r.group(pool)
 			g.members = append(g.members, u)
 			g.keepFloor(now)
@@ -195,20 +195,20 @@
 	}
 }
 
-// Held is a reserved slot: the upstream with its generation and incarnation at
+// Reservation is a reserved slot: the upstream with its generation and incarnation at
 // the time of the Pick.
-type Held struct {
+type Reservation struct {
 	Upstream    *Upstream
 	Generation  uint32
 	Incarnation uint64
 }
 
-// Pick reserves a slot of an upstream of the pool; ok is false when none has
+// Reserve reserves a slot of an upstream of the pool; ok is false when none has
 // room. The upstream to avoid is taken only when no other has room.
-func (r *Router[P]) Pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Held, ok bool) {
+func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
 	g := r.pools[p]
 	if g == nil || len(g.members) == 0 {
-		return Held{}, false
+		return Reservation{}, false
 	}
 	r.candidates = r.candidates[:0]
 	var last *Upstream
@@ -222,18 +222,18 @@
 			last = u
 			continue
 		}
-		r.candidates = append(r.candidates, Candidate{Upstream: u, Room: n})
+		r.candidates = append(r.candidates, Candidate{Upstream: u, Capacity: n})
 	}
 	if len(r.candidates) > 0 {
 		last = r.candidates[r.policy.Choose(r.candidates, g.turn)].Upstream
 		g.turn++
 	}
 	if last == nil {
-		return Held{}, false
+		return Reservation{}, false
 	}
 	last.Running++
 	last.Peak = max(last.Peak, last.Running)
-	return Held{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
+	return Reservation{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
 }
 
 // Restored appends the upstreams whose ejection has ended since the last call.
@@ -251,8 +251,8 @@
 	return buf
 }
 
-// Return gives back a reservation that was not used.
-func (r *Router[P]) Return(h Held) {
+// CancelReservation gives back a reservation that was not used.
+func (r *Router[P]) CancelReservation(h Reservation) {
 	h.Upstream.Running--
 	r.forget(h.Upstream)
 }
@@ -261,7 +261,7 @@
 // after a start of this process, nobody is held back.
 func (g *group) warm(now clock.Millis) bool {
 	for _, u := range g.members {
-		if now-u.Since >= SlowStart && !u.Ejected(now) {
+		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
 			return true
 		}
 	}
@@ -274,18 +274,18 @@
 		return 0
 	}
 	slots := u.Slots - u.Lent
-	if r.Quarantine {
+	if r.LoansUncertain {
 		slots = u.Slots - max(u.Lendable, u.Lent)
 	}
-	age := max(now-u.Since, 0)
+	age := max(now-u.RoutableSince, 0)
 	if !warm || age >= SlowStart || slots <= 0 {
 		return max(slots, 0)
 	}
 	return max(1, int(clock.Millis(slots)*age/SlowStart))
 }
 
-// Room returns the number of requests that the pool may run at once now.
-func (r *Router[P]) Room(now clock.Millis, p model.Pool) int {
+// Capacity returns the number of requests that the pool may run at once now.
+func (r *Router[P]) Capacity(now clock.Millis, p model.Pool) int {
 	g := r.pools[p]
 	if g == nil {
 		return 0
@@ -313,11 +313,11 @@
 // End gives a slot back and reports whether the upstream was ejected by this
 // outcome. The outcome of a request to an earlier process of the upstream says
 // nothing of the present one.
-func (r *Router[P]) End(now clock.Millis, h Held, o Outcome) (ejected bool) {
+func (r *Router[P]) End(now clock.Millis, h Reservation, o Outcome) (ejected bool) {
 	u := h.Upstream
 	u.Running--
-	if h.Generation != u.Generation && u.Old > 0 {
-		u.Old--
+	if h.Generation != u.Generation && u.OldRunning > 0 {
+		u.OldRunning--
 		r.unblock(u)
 	}
 	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
@@ -329,24 +329,24 @@
 
 // unblock ends the hold-up of a release once nothing uses the instance.
 func (r *Router[P]) unblock(u *Upstream) {
-	if u.Old == 0 && u.Lent == 0 {
-		u.Blocked = 0
+	if u.OldRunning == 0 && u.Lent == 0 {
+		u.BlockedRelease = 0
 		delete(r.blocked, u.Instance)
 	}
 }
 
-// Drained returns the highest version of the table such that no request in
+// DrainedVersion returns the highest version of the table such that no request in
 // flight and no loan uses an instance released at or below it; 0 in quarantine.
 // When an instance was routable
 // again before all earlier requests had ended, which control never allows, the
 // result can be lower than that.
-func (r *Router[P]) Drained() model.Version {
-	if r.Quarantine {
+func (r *Router[P]) DrainedVersion() model.Version {
+	if r.LoansUncertain {
 		return 0
 	}
 	v := r.Version
 	for _, u := range r.blocked {
-		v = min(v, u.Blocked-1)
+		v = min(v, u.BlockedRelease-1)
 	}
 	return v
 }
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -41,34 +41,34 @@
 	// Lendable is the part of Slots that may be lent, and PerSlot the number of
 	// connections, apart from Connections, that go with each of them. Both are 0
 	// while lending is off.
-	Lendable int
-	PerSlot  int
+	Lendable           int
+	ConnectionsPerSlot int
 	// Lent is the number of own slots that others may use; it holds up a
 	// release like requests in flight.
 	Lent int
 	// Peak is the largest number of requests in flight since the last Roll, and
-	// Past that of the time before it.
-	Peak, Past int
+	// PreviousPeak that of the time before it.
+	Peak, PreviousPeak int
 	// Running is the number of requests in flight, of all generations.
 	Running int
 	// Generation grows each time the instance is released from a pool.
 	Generation uint32
-	// Old is the number of requests in flight of earlier generations.
-	Old int
-	// Blocked is the table version of the release that Old requests or Lent
+	// OldRunning is the number of requests in flight of earlier generations.
+	OldRunning int
+	// BlockedRelease is the table version of the release that Old requests or Lent
 	// slots hold up; 0 when both are 0.
-	Blocked model.Version
-	// Since is the time at which the upstream became routable.
-	Since clock.Millis
+	BlockedRelease model.Version
+	// RoutableSince is the time at which the upstream became routable.
+	RoutableSince clock.Millis
 	// Score is the smoothed share of failures, from 0 to 1.
 	Score float64
 	// EjectedUntil is in the future while the upstream is ejected.
 	EjectedUntil clock.Millis
-	// Returning says that Score is still that of the ejection, for comparison
+	// ScoreResetPending says that Score is still that of the ejection, for comparison
 	// with peers; it is lowered with the first outcome afterwards.
-	Returning bool
-	// Ejections is the number of ejections in a row; it sets their length.
-	Ejections int
+	ScoreResetPending bool
+	// ConsecutiveEjections is the number of ejections in a row; it sets their length.
+	ConsecutiveEjections int
 	// entry, member and lapsed are the inputs of routable.
 	entry  model.Instance
 	known  bool
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -22,7 +22,7 @@
 
 // opinion is what the advice service said of a worker for a step.
 type opinion struct {
-	life jobs.Life
+	life jobs.Incarnation
 	// ticket is empty for a worker that may not run the step.
 	ticket string
 	until  clock.Millis
@@ -42,7 +42,7 @@
 	// asking is the step of the question on its way, and lives holds the life of
 	// each worker that it names; nil for none.
 	asking groupKey
-	lives  map[jobs.WorkerID]jobs.Life
+	lives  map[jobs.WorkerID]jobs.Incarnation
 	asked  clock.Millis
 	// counts says how many of a queue's answers were good.
 	counts map[jobs.QueueName]adviceCount
@@ -64,10 +64,10 @@
 
 // adviceOf returns the rule of a job's queue; the zero value for a queue without
 // advice.
-func (b *Board[O, J]) adviceOf(r *jobs.Record) jobs.Advice { return b.advices[r.Queue] }
+func (b *Scheduler[O, J]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return b.advices[r.Queue] }
 
 // ticket returns a worker's ticket for a step of a queue with advice.
-func (b *Board[O, J]) ticket(w *worker, k groupKey, now clock.Millis) (string, bool) {
+func (b *Scheduler[O, J]) ticket(w *worker, k groupKey, now clock.Millis) (string, bool) {
 	a := b.advice.steps[k]
 	if a == nil {
 		return "", false
@@ -77,8 +77,8 @@
 }
 
 // allowed reports whether the rules of the group's queue let the worker run it.
-func (b *Board[O, J]) allowed(w *worker, g *group, now clock.Millis) bool {
-	if b.adviceOf(g.rec).Valid == 0 {
+func (b *Scheduler[O, J]) allowed(w *worker, g *group, now clock.Millis) bool {
+	if b.adviceOf(g.rec).TicketValidity == 0 {
 		return true
 	}
 	_, ok := b.ticket(w, g.key, now)
@@ -89,8 +89,8 @@
 // group, unless another question is on its way. It names about as many as hold
 // enough good ones by the queue's earlier answers, those that tasks would be
 // placed on first.
-func (b *Board[O, J]) ask(p *pool, g *group, now clock.Millis) {
-	if b.adviceOf(g.rec).Valid == 0 || b.advice.lives != nil {
+func (b *Scheduler[O, J]) ask(p *pool, g *group, now clock.Millis) {
+	if b.adviceOf(g.rec).TicketValidity == 0 || b.advice.lives != nil {
 		return
 	}
 	a := b.advice.steps[g.key]
@@ -105,7 +105,7 @@
 	if len(open) == 0 {
 		return
 	}
-	lives := map[jobs.WorkerID]jobs.Life{}
+	lives := map[jobs.WorkerID]jobs.Incarnation{}
 	names := make([]jobs.WorkerID, 0, len(open))
 	for _, w := range open[:min(len(open), b.question(g, open[0]))] {
 		lives[w.id] = w.life
@@ -114,13 +114,13 @@
 	b.advice.asking, b.advice.lives, b.advice.asked = g.key, lives, now
 	rule := b.adviceOf(g.rec)
 	b.out.Actions = append(b.out.Actions, Action{
-		Kind: ActionAdvise, Step: g.key.task(0), Workers: names, Takes: rule.Decide + clock.Millis(len(names))*rule.Each,
+		Kind: ActionAdvise, Step: g.key.task(0), Workers: names, ExpectedDuration: rule.BaseLatency + clock.Millis(len(names))*rule.LatencyPerWorker,
 	})
 }
 
 // unasked lists the pool's workers that could take a task of the group and of
 // which it is not known whether they may.
-func (b *Board[O, J]) unasked(p *pool, g *group, a *advised, now clock.Millis) []*worker {
+func (b *Scheduler[O, J]) unasked(p *pool, g *group, a *advised, now clock.Millis) []*worker {
 	var open []*worker
 	for w := range b.heard(p, now) {
 		if !b.takes(w, g, now) || w.seats(w.room, g) == 0 {
@@ -144,14 +144,14 @@
 
 // question is the number of workers to name: as many as the waiting tasks take,
 // over the share of good ones.
-func (b *Board[O, J]) question(g *group, w *worker) int {
+func (b *Scheduler[O, J]) question(g *group, w *worker) int {
 	wanted := (len(g.waiting) + w.seats(w.room, g) - 1) / w.seats(w.room, g)
 	c := b.advice.counts[g.rec.Queue]
 	return min(1+wanted*(c.named+2)/(c.good+1), askMost)
 }
 
 // answered takes the answer of the advice service.
-func (b *Board[O, J]) answered(a Action, o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) answered(a Action, o Outcome, now clock.Millis) {
 	lives, asked, key := b.advice.lives, b.advice.asked, b.advice.asking
 	b.advice.lives = nil
 	step, rec := b.advice.steps[key], b.State.Jobs[key.job]
@@ -161,7 +161,7 @@
 	step.next = now
 	if o.Answer != AnswerDone {
 		step.next = now + askRetry
-		b.noteJob(DecisionNoAdvice, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o), true)
+		b.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o), true)
 		return
 	}
 	for id, life := range lives {
@@ -170,18 +170,18 @@
 	good := 0
 	for _, t := range o.Tickets {
 		if life, ok := lives[t.Worker]; ok && t.Text != "" {
-			step.opinions[t.Worker] = opinion{life: life, ticket: t.Text, until: asked + b.adviceOf(rec).Valid}
+			step.opinions[t.Worker] = opinion{life: life, ticket: t.Text, until: asked + b.adviceOf(rec).TicketValidity}
 			good++
 		}
 	}
 	c := b.advice.counts[rec.Queue]
 	b.advice.counts[rec.Queue] = adviceCount{named: c.named + len(lives), good: c.good + good}
-	b.noteJob(DecisionAdvice, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
+	b.noteJob(DecisionAdviceReceived, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
 	b.dirty[b.pool(b.poolOf(rec))] = true
 }
 
 // forgetAdvice drops what is known of the steps of a job that is over.
-func (b *Board[O, J]) forgetAdvice(r *jobs.Record) {
+func (b *Scheduler[O, J]) forgetAdvice(r *jobs.Record) {
 	if len(b.advice.steps) == 0 {
 		return
 	}
@@ -193,7 +193,7 @@
 }
 
 // refusedTicket drops a ticket that a worker has not accepted.
-func (b *Board[O, J]) refusedTicket(w *worker, r *run) {
+func (b *Scheduler[O, J]) refusedTicket(w *worker, r *run) {
 	if a := b.advice.steps[keyOf(r.task)]; a != nil {
 		delete(a.opinions, w.id)
 	}
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -18,8 +18,8 @@
 	c := r.State.Config
 	c.Version++
 	c.Queues = []jobs.Queue{{
-		Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500,
-		Advice: jobs.Advice{Valid: ticketLife, Decide: 20, Each: 2},
+		Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500,
+		Advice: jobs.AdvicePolicy{TicketValidity: ticketLife, BaseLatency: 20, LatencyPerWorker: 2},
 	}}
 	r.Configure(c, r.now)
 	return r
@@ -44,9 +44,9 @@
 	p := r.Pass(r.now)
 	a := question(t, p)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
-	assert.DeepEqual(t, a.Step, jobs.Task{Job: "a"})
+	assert.DeepEqual(t, a.Step, jobs.TaskID{Job: "a"})
 	assert.DeepEqual(t, a.Workers, []jobs.WorkerID{"w1", "w2"})
-	r.Acted(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, r.now+30)
+	r.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, r.now+30)
 	r.now += 30
 	p = r.Pass(r.now)
 	assert.Equal(t, len(orders(p, "w1").Starts), 0)
@@ -66,7 +66,7 @@
 	r.now += 100
 	r.hear("w1", 1, nil)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionAdvise)), 0)
-	r.Acted(a, Outcome{}, r.now)
+	r.HandleOutcome(a, Outcome{}, r.now)
 	b := question(t, r.Pass(r.now))
 	assert.Equal(t, a.Step.Job, jobs.ID("a"))
 	assert.Equal(t, b.Step.Job, jobs.ID("b"))
@@ -78,7 +78,7 @@
 	r := newAdvisedRig()
 	r.submit("a", small)
 	r.hear("w1", 1, nil)
-	r.Acted(question(t, r.Pass(r.now)), Outcome{Answer: AnswerUnknown}, r.now)
+	r.HandleOutcome(question(t, r.Pass(r.now)), Outcome{Answer: AnswerUnknown}, r.now)
 	r.hear("w1", 1, nil)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionAdvise)), 0)
 	r.now += askRetry
@@ -90,31 +90,31 @@
 // belongs to an earlier life of the worker, or was not accepted.
 func TestTicketIsRenewed(t *testing.T) {
 	two := small
-	two.Count, two.PerWorker = 2, 1
+	two.TaskCount, two.MaxPerWorker = 2, 1
 	for _, c := range []struct {
 		name string
-		life jobs.Life
+		life jobs.Incarnation
 		then func(r *rig, first Orders)
 	}{
 		{"run out", 1, func(r *rig, first Orders) {
 			r.now += ticketLife
-			r.hear("w1", 1, nil, endsOf(first, jobs.HowDone)...)
+			r.hear("w1", 1, nil, endsOf(first, jobs.ResultDone)...)
 		}},
 		{"new life", 2, func(r *rig, _ Orders) { r.hear("w1", 2, nil) }},
-		{"refused", 1, func(r *rig, first Orders) { r.hear("w1", 1, nil, endsOf(first, jobs.HowRefused)...) }},
+		{"refused", 1, func(r *rig, first Orders) { r.hear("w1", 1, nil, endsOf(first, jobs.ResultRefused)...) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newAdvisedRig()
 			r.submit("a", two)
 			r.hear("w1", 1, nil)
-			r.Acted(question(t, r.Pass(r.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, r.now)
+			r.HandleOutcome(question(t, r.Pass(r.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, r.now)
 			first := orders(r.Pass(r.now), "w1")
 			assert.Equal(t, len(first.Starts), 1)
 			r.now += 100
 			c.then(r, first)
 			p := r.Pass(r.now)
 			assert.Equal(t, len(orders(p, "w1").Starts), 0)
-			r.Acted(question(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, r.now)
+			r.HandleOutcome(question(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, r.now)
 			r.hear("w1", c.life, nil)
 			assert.Equal(t, orders(r.Pass(r.now), "w1").Starts[0].Ticket, "again")
 		})
@@ -132,7 +132,7 @@
 	r.submit("a", small)
 	a := question(t, r.Pass(r.now))
 	assert.Equal(t, len(a.Workers), 3)
-	r.Acted(a, Outcome{}, r.now)
+	r.HandleOutcome(a, Outcome{}, r.now)
 	r.hear("w00", 1, nil)
 	assert.Assert(t, len(question(t, r.Pass(r.now)).Workers) > 3)
 	assert.Equal(t, r.advice.counts["q"], adviceCount{named: 3})
--- a/core/state/sched/board.go
+++ b/core/state/sched/board.go
@@ -10,9 +10,9 @@
 	"camphorridge/core/state/place"
 )
 
-// Board holds what the leader knows of workers and of waiting work. One duty
+// Scheduler holds what the leader knows of workers and of waiting work. One duty
 // owns it.
-type Board[O Order, J place.Judge] struct {
+type Scheduler[O RankPolicy, J place.HealthPolicy] struct {
 	set   Settings
 	order O
 	judge J
@@ -24,16 +24,16 @@
 	machines map[jobs.MachineID]*worker
 	// ended holds the latest life of each worker that was taken off the board;
 	// heartbeats of it that come late are not taken.
-	ended map[jobs.WorkerID]jobs.Life
+	ended map[jobs.WorkerID]jobs.Incarnation
 	// failedOn holds the worker that a task failed on last.
-	failedOn map[jobs.Task]jobs.WorkerID
+	failedOn map[jobs.TaskID]jobs.WorkerID
 	pools    map[jobs.PoolName]*pool
 	// queues maps the queues in force to their pools.
 	queues map[jobs.QueueName]jobs.PoolName
 	// placed lists the version of the configuration that queues was made of.
 	placed uint64
 	// advices holds the rules of the queues in force that have advice.
-	advices map[jobs.QueueName]jobs.Advice
+	advices map[jobs.QueueName]jobs.AdvicePolicy
 	advice  advice
 	// now is the latest time that a call has told.
 	now clock.Millis
@@ -84,23 +84,23 @@
 // worker is one life of a worker.
 type worker struct {
 	id       jobs.WorkerID
-	life     jobs.Life
+	life     jobs.Incarnation
 	machine  jobs.MachineID
 	pool     jobs.PoolName
 	zone     string
 	rack     string
 	labels   []string
 	seq      int64
-	room     jobs.Size
-	used     jobs.Size
+	room     jobs.Resources
+	used     jobs.Resources
 	draining bool
 	// known is set once the worker was heard in this term.
 	known bool
 	// until is the end of the longest lease that the worker may have.
 	until clock.Millis
-	runs  map[jobs.Task]*run
+	runs  map[jobs.TaskID]*run
 	// strays are runs that the worker lists and that are not assigned to it.
-	strays map[jobs.Task]stray
+	strays map[jobs.TaskID]stray
 	// beat is set while a heartbeat waits for its answer.
 	beat *waiting
 	// held keeps new tasks off a worker whose machine is to be maintained, and
@@ -126,7 +126,7 @@
 
 type stray struct {
 	run  int
-	need jobs.Size
+	need jobs.Resources
 }
 
 // waiting is a heartbeat whose answer is held back until due.
@@ -137,13 +137,13 @@
 	ack     int64
 	starts  []Start
 	stops   []Stop
-	rates   []Rate
+	rates   []Throttle
 	pressed bool
 }
 
 // run is a task that is assigned to a worker.
 type run struct {
-	task   jobs.Task
+	task   jobs.TaskID
 	number int
 	rec    *jobs.Record
 	step   *jobs.Step
@@ -161,15 +161,15 @@
 	why string
 }
 
-// NewBoard returns a board for a leader whose term begins at now, with the
+// New returns a board for a leader whose term begins at now, with the
 // committed state. Whatever is assigned may run on its worker until the
 // longest lease has ended, even if the worker is never heard.
-func NewBoard[O Order, J place.Judge](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Board[O, J] {
-	b := &Board[O, J]{
+func New[O RankPolicy, J place.HealthPolicy](set Settings, order O, judge J, s *jobs.State, now clock.Millis) *Scheduler[O, J] {
+	b := &Scheduler[O, J]{
 		set: set, order: order, judge: judge, State: s, began: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, machines: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
-		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Life{}, failedOn: map[jobs.Task]jobs.WorkerID{},
+		dirty: map[*pool]bool{}, fleet: newMachines(), ended: map[jobs.WorkerID]jobs.Incarnation{}, failedOn: map[jobs.TaskID]jobs.WorkerID{},
 		advice: newAdvice(),
 	}
 	b.readConfig()
@@ -183,15 +183,15 @@
 }
 
 // adopt enters a job that was accepted before this term.
-func (b *Board[O, J]) adopt(r *jobs.Record, now clock.Millis) {
-	for id, t := range r.All() {
+func (b *Scheduler[O, J]) adopt(r *jobs.Record, now clock.Millis) {
+	for id, t := range r.Tasks() {
 		if t.Phase != jobs.PhaseAssigned {
 			continue
 		}
 		w := b.workers[t.Worker]
-		if w == nil || w.life < t.Life {
+		if w == nil || w.life < t.Incarnation {
 			w = &worker{
-				id: t.Worker, life: t.Life, pool: r.Pool, runs: map[jobs.Task]*run{},
+				id: t.Worker, life: t.Incarnation, pool: r.Pool, runs: map[jobs.TaskID]*run{},
 				until: now + b.longest(), pace: unknownPace(),
 			}
 			b.workers[t.Worker] = w
@@ -205,51 +205,51 @@
 
 // longest is the time after which a lease that was granted at most now has
 // ended on the slowest clock.
-func (b *Board[O, J]) longest() clock.Millis {
+func (b *Scheduler[O, J]) longest() clock.Millis {
 	return b.set.LeaseMillis + b.set.LeaseMillis*b.set.DriftPermille/1000
 }
 
-func (b *Board[O, J]) attach(w *worker, r *run) {
+func (b *Scheduler[O, J]) attach(w *worker, r *run) {
 	w.runs[r.task] = r
 	w.used = w.used.Plus(counted(r.step))
 }
 
-func (b *Board[O, J]) detach(w *worker, r *run) {
+func (b *Scheduler[O, J]) detach(w *worker, r *run) {
 	delete(w.runs, r.task)
 	w.used = w.used.Minus(counted(r.step))
 }
 
 // counted is what a task takes of a worker's room. A filler takes processor
 // time that others leave.
-func counted(s *jobs.Step) jobs.Size {
-	n := s.Need
-	if s.Filler {
+func counted(s *jobs.Step) jobs.Resources {
+	n := s.Resources
+	if s.BestEffort {
 		n.MilliCores = 0
 	}
 	return n
 }
 
 // apply changes the board's copy and adds the operation to the plan.
-func (b *Board[O, J]) apply(o jobs.Op, now clock.Millis) {
+func (b *Scheduler[O, J]) apply(o jobs.Op, now clock.Millis) {
 	b.State.Apply([]jobs.Op{o}, max(now, b.State.Time))
 	b.out.Ops = append(b.out.Ops, o)
 }
 
-// Decided is the number of operations since the last plan.
-func (b *Board[O, J]) Decided() int { return len(b.out.Ops) }
+// PendingOps is the number of operations since the last plan.
+func (b *Scheduler[O, J]) PendingOps() int { return len(b.out.Ops) }
 
 // readConfig maps queues to pools once a new configuration is in force.
-func (b *Board[O, J]) readConfig() {
+func (b *Scheduler[O, J]) readConfig() {
 	c := &b.State.Config
 	if b.queues != nil && c.Version == b.placed {
 		return
 	}
 	b.placed = c.Version
 	b.queues = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
-	b.advices = map[jobs.QueueName]jobs.Advice{}
+	b.advices = map[jobs.QueueName]jobs.AdvicePolicy{}
 	for _, q := range c.Queues {
 		b.queues[q.Name] = q.Pool
-		if q.Advice.Valid > 0 {
+		if q.Advice.TicketValidity > 0 {
 			b.advices[q.Name] = q.Advice
 		}
 	}
@@ -257,7 +257,7 @@
 
 // poolOf is the pool that runs a job: that of its queue, and for a queue that
 // was removed that of its submission.
-func (b *Board[O, J]) poolOf(r *jobs.Record) jobs.PoolName {
+func (b *Scheduler[O, J]) poolOf(r *jobs.Record) jobs.PoolName {
 	if p, ok := b.queues[r.Queue]; ok {
 		return p
 	}
@@ -265,32 +265,32 @@
 }
 
 // Submit accepts a job. A job that is known is left as it is.
-func (b *Board[O, J]) Submit(j jobs.Job, now clock.Millis) {
+func (b *Scheduler[O, J]) Submit(j jobs.Job, now clock.Millis) {
 	if b.State.Jobs[j.ID] != nil {
 		return
 	}
-	j.Accepted = max(now, b.State.Time)
-	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.Task{Job: j.ID}, Job: &j}, now)
+	j.AcceptedAt = max(now, b.State.Time)
+	b.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
 	rec := b.State.Jobs[j.ID]
 	b.enter(rec, now)
 	b.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
-		j.Queue, b.State.Config.Version, len(j.Steps), Objective(rec, 0)-now), false)
+		j.Queue, b.State.Config.Version, len(j.Steps), Deadline(rec, 0)-now), false)
 }
 
 // noteEnd explains the final status of a job: how long it took, and for a late
 // one what kept it.
-func (b *Board[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
-	late := now - Objective(r, len(r.Occurrences)-1)
+func (b *Scheduler[O, J]) noteEnd(r *jobs.Record, now clock.Millis) {
+	late := now - Deadline(r, len(r.Occurrences)-1)
 	b.forgetAdvice(r)
-	reason := fmt.Sprintf("after %d ms", now-r.Accepted)
+	reason := fmt.Sprintf("after %d ms", now-r.AcceptedAt)
 	if late > 0 && r.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", late)
 	}
 	runs, fails := 0, 0
-	for id, t := range r.All() {
+	for id, t := range r.Tasks() {
 		runs += t.Run
 		if id.Index == 0 {
-			fails += r.Fails(id.Occurrence, id.Step)
+			fails += r.Failures(id.Occurrence, id.Step)
 		}
 	}
 	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, fails)
@@ -298,13 +298,13 @@
 }
 
 // Cancel ends a job. It reports false for one that is not known.
-func (b *Board[O, J]) Cancel(id jobs.ID, now clock.Millis) bool {
+func (b *Scheduler[O, J]) Cancel(id jobs.ID, now clock.Millis) bool {
 	r := b.State.Jobs[id]
 	if r == nil {
 		return false
 	}
 	if !r.Status.Final() {
-		b.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.Task{Job: id}}, now)
+		b.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
 		b.noteEnd(r, now)
 		b.stopJob(r)
 	}
@@ -312,8 +312,8 @@
 }
 
 // stopJob orders the end of what runs of a job that is over.
-func (b *Board[O, J]) stopJob(r *jobs.Record) {
-	for id, t := range r.All() {
+func (b *Scheduler[O, J]) stopJob(r *jobs.Record) {
+	for id, t := range r.Tasks() {
 		if w, x := b.assigned(id, t); x != nil {
 			b.stop(w, x, r.Status.String())
 		}
@@ -321,7 +321,7 @@
 }
 
 // assigned returns the run of an assigned task and its worker; nil for others.
-func (b *Board[O, J]) assigned(id jobs.Task, t *jobs.TaskState) (*worker, *run) {
+func (b *Scheduler[O, J]) assigned(id jobs.TaskID, t *jobs.TaskState) (*worker, *run) {
 	w := b.workers[t.Worker]
 	if t.Phase != jobs.PhaseAssigned || w == nil {
 		return nil, nil
@@ -330,7 +330,7 @@
 }
 
 // Configure puts a configuration in force when it is newer.
-func (b *Board[O, J]) Configure(c jobs.Config, now clock.Millis) {
+func (b *Scheduler[O, J]) Configure(c jobs.Config, now clock.Millis) {
 	if c.Version <= b.State.Config.Version {
 		return
 	}
@@ -339,14 +339,14 @@
 	b.regroup()
 }
 
-// Pending counts the accepted jobs of a queue of which no task has started,
+// PendingJobs counts the accepted jobs of a queue of which no task has started,
 // without scheduled ones.
-func (b *Board[O, J]) Pending(q jobs.QueueName) int {
+func (b *Scheduler[O, J]) PendingJobs(q jobs.QueueName) int {
 	n := 0
 	for _, p := range b.pools {
 		seen := map[jobs.ID]bool{}
 		for _, g := range p.groups {
-			if g.rec.Queue == q && !g.rec.Started && g.rec.Times == 0 && !g.rec.Status.Final() && !seen[g.rec.ID] {
+			if g.rec.Queue == q && !g.rec.EverAssigned && g.rec.OccurrenceCount == 0 && !g.rec.Status.Final() && !seen[g.rec.ID] {
 				seen[g.rec.ID] = true
 				n++
 			}
