--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -10,13 +10,13 @@
 )
 
 // crew is a gang whose tasks take a quarter of a worker each.
-var crew = jobs.Step{Count: 6, Need: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Saves: true}
+var crew = jobs.Step{TaskCount: 6, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, Estimate: 1000, Gang: true, Checkpoints: true}
 
 // runningOf lists the runs that a worker was ordered to start.
-func runningOf(o Orders) []Running {
-	var out []Running
+func runningOf(o Orders) []RunStatus {
+	var out []RunStatus
 	for _, s := range o.Starts {
-		out = append(out, Running{Task: s.Task, Run: s.Run})
+		out = append(out, RunStatus{Task: s.Task, Run: s.Run})
 	}
 	return out
 }
@@ -45,7 +45,7 @@
 	first, second := orders(p, "w1"), orders(p, "w2")
 	r.now += 300
 	failed := first.Starts[0]
-	r.hear("w1", 1, runningOf(first)[1:], End{Number: 1, Task: failed.Task, Run: 1, How: jobs.HowFailed, Saved: "s1"})
+	r.hear("w1", 1, runningOf(first)[1:], RunEnd{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Checkpoint: "s1"})
 	r.hear("w2", 1, runningOf(second))
 	p = r.Pass(r.now)
 	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
@@ -59,7 +59,7 @@
 	assert.Equal(t, len(starts), 6)
 	for _, s := range starts {
 		assert.Equal(t, s.Run, 2)
-		assert.Equal(t, s.Saved, "s1")
+		assert.Equal(t, s.Checkpoint, "s1")
 	}
 }
 
@@ -68,20 +68,20 @@
 func TestGangEndsTogether(t *testing.T) {
 	r := newRig(Defaults())
 	after := small
-	after.After = []int{0}
+	after.DependsOn = []int{0}
 	r.submit("g", crew, after)
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
 	p := r.Pass(r.now)
 	first := orders(p, "w1")
 	r.now += 1000
-	r.hear("w1", 1, nil, endsOf(first, jobs.HowDone)[:1]...)
+	r.hear("w1", 1, nil, endsOf(first, jobs.ResultDone)[:1]...)
 	p = r.Pass(r.now)
-	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].Done, 6)
+	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].DoneTasks, 6)
 	assert.Equal(t, len(orders(p, "w1").Starts), 1)
-	r.Leave("w2", 1, r.now)
+	r.RemoveWorker("w2", 1, r.now)
 	r.now += 500
-	done := endsOf(orders(p, "w1"), jobs.HowDone)
+	done := endsOf(orders(p, "w1"), jobs.ResultDone)
 	done[0].Number = 2
 	r.hear("w1", 1, nil, done...)
 	r.Pass(r.now)
@@ -102,16 +102,16 @@
 		r.hear("w2", 1, nil)
 		p := r.Pass(r.now)
 		for _, id := range []string{"w1", "w2"} {
-			ends := endsOf(orders(p, id), jobs.HowStopped)
+			ends := endsOf(orders(p, id), jobs.ResultStopped)
 			for n := range ends {
 				number++
 				ends[n].Number = number
 			}
 			// Two tasks fail in the first run, one of the other worker in the second.
 			if (attempt == 0) == (id == "w1") {
-				ends[0].How = jobs.HowFailed
+				ends[0].Result = jobs.ResultFailed
 				if attempt == 0 {
-					ends[1].How = jobs.HowFailed
+					ends[1].Result = jobs.ResultFailed
 				}
 			}
 			r.now += 100
@@ -121,7 +121,7 @@
 	}
 	assert.Equal(t, r.State.Jobs["g"].Status, jobs.StatusFailed)
 	x, _ := r.Explain("g", r.now)
-	assert.Equal(t, x.Steps[0].Fails, 2)
+	assert.Equal(t, x.Steps[0].Failures, 2)
 }
 
 // TestSmallWorkLeavesRoomForGang plays a full pool with small tasks that never
@@ -129,13 +129,13 @@
 func TestSmallWorkLeavesRoomForGang(t *testing.T) {
 	r := newRig(Defaults())
 	fill := small
-	fill.Count, fill.Need.MilliCores = 16, 1000
+	fill.TaskCount, fill.Resources.MilliCores = 16, 1000
 	r.submit("fill", fill)
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
 	assert.Equal(t, len(running), 16)
 	wide := crew
-	wide.Count = 4
+	wide.TaskCount = 4
 	r.submit("g", wide)
 	number := int64(0)
 	for n := range 40 {
@@ -143,10 +143,10 @@
 		// A later job waits for each task that ends.
 		one := small
 		r.submit(fmt.Sprint("later", n), one)
-		var ends []End
+		var ends []RunEnd
 		if len(running) > 0 {
 			number++
-			ends = append(ends, End{Number: number, Task: running[0].Task, Run: running[0].Run, How: jobs.HowDone})
+			ends = append(ends, RunEnd{Number: number, Task: running[0].Task, Run: running[0].Run, Result: jobs.ResultDone})
 			running = running[1:]
 		}
 		r.hear("w1", 1, running, ends...)
@@ -154,7 +154,7 @@
 			if s.Task.Job == "g" {
 				return
 			}
-			running = append(running, Running{Task: s.Task, Run: s.Run, Percent: 50})
+			running = append(running, RunStatus{Task: s.Task, Run: s.Run, Percent: 50})
 		}
 	}
 	t.Fatal("the gang did not start")
@@ -165,8 +165,8 @@
 // the advice service has named no worker.
 func TestImpossibleGangKeepsNoRoom(t *testing.T) {
 	wide := crew
-	wide.Count = 4
-	lasting := jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true}
+	wide.TaskCount = 4
+	lasting := jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true}
 	for _, c := range []struct {
 		name string
 		rig  *rig
@@ -202,7 +202,7 @@
 // or will have it soon, and against one that waits although none could hold it.
 func TestGangKeepsToOneRack(t *testing.T) {
 	one := crew
-	one.Count, one.SameRack = 5, true
+	one.TaskCount, one.SameRack = 5, true
 	for _, c := range []struct {
 		name string
 		// racks are those of the workers that are heard, and busy that of one which
@@ -219,14 +219,14 @@
 			r := newRig(Defaults())
 			racked := func(id, rack string) {
 				r.seq++
-				r.Beat(Beat{
-					Worker: jobs.WorkerID(id), Life: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
-					Seq: r.seq, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Received: r.now,
+				r.Heartbeat(Heartbeat{
+					Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
+					Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 				}, r.now)
 			}
 			if c.busy != "" {
 				racked("busy", c.busy)
-				r.now += r.set.HoldMillis
+				r.now += r.set.MaxHoldMillis
 				r.Pass(r.now)
 			}
 			r.submit("g", one)
@@ -252,8 +252,8 @@
 	r.hear("w2", 1, nil)
 	p := r.Pass(r.now)
 	rest := runningOf(orders(p, "w2"))
-	r.Leave("w1", 1, r.now)
-	next := &rig{testBoard: NewBoard(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	r.RemoveWorker("w1", 1, r.now)
+	next := &rig{testBoard: New(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	next.hear("w2", 1, rest)
 	assert.Equal(t, len(orders(next.Pass(next.now), "w2").Stops), len(rest))
 }
@@ -264,14 +264,14 @@
 	r := newRig(Defaults())
 	r.submit("a", small)
 	r.seq++
-	r.Beat(Beat{
-		Worker: "w1", Life: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
-		Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Received: r.now,
+	r.Heartbeat(Heartbeat{
+		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
+		Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
 	}, r.now)
 	r.Pass(r.now)
 	c := r.State.Config
 	c.Version++
-	c.Queues = []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "other", Attempts: 2}}
+	c.Queues = []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "other", MaxAttempts: 2}}
 	r.Configure(c, r.now)
 	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 1)
 }
@@ -284,7 +284,7 @@
 	r.hear("w1", 1, nil)
 	o := orders(r.Pass(r.now), "w1")
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
 	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 0)
 	r.now += elsewhereMillis
 	r.hear("w1", 1, nil)
--- a/core/state/sched/load_test.go
+++ b/core/state/sched/load_test.go
@@ -49,11 +49,11 @@
 		}
 		takes := 300 + clock.Millis(r.IntN(700))
 		step := jobs.Step{
-			Count: 1 + r.IntN(11), Need: jobs.Size{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
+			TaskCount: 1 + r.IntN(11), Resources: jobs.Resources{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
 			Estimate: takes * clock.Millis(80+r.IntN(40)) / 100,
 		}
 		all = append(all, arrival{at: at, takes: takes, job: jobs.Job{
-			ID: jobs.ID(fmt.Sprint("j", len(all))), Queue: "q", Pool: "p", Attempts: 3, Target: 3600, StretchPermille: 1600,
+			ID: jobs.ID(fmt.Sprint("j", len(all))), Queue: "q", Pool: "p", MaxAttempts: 3, Target: 3600, StretchPermille: 1600,
 			Steps: []jobs.Step{step},
 		}})
 	}
@@ -68,7 +68,7 @@
 // work is the processor time of all tasks.
 func (a arrival) work() clock.Millis {
 	s := a.job.Steps[0]
-	return clock.Millis(s.Count*s.Need.MilliCores) * a.takes / 1000
+	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * a.takes / 1000
 }
 
 // upperBound is a number of jobs that no schedule can bring to their end in
@@ -106,8 +106,8 @@
 	next clock.Millis
 	// waits is set while a heartbeat has no answer.
 	waits  bool
-	runs   map[jobs.Task]loadRun
-	ends   []End
+	runs   map[jobs.TaskID]loadRun
+	ends   []RunEnd
 	number int64
 }
 
@@ -117,16 +117,16 @@
 }
 
 // onTime plays a load with an order and counts the jobs that end in time.
-func onTime[O Order](order O, all []arrival) int {
+func onTime[O RankPolicy](order O, all []arrival) int {
 	set := Defaults()
-	set.SurgeMillis = 0
+	set.BacklogTargetMillis = 0
 	const start = 100_000
 	base := newRig(set)
-	b := NewBoard(set, order, place.Peers{Least: 3}, base.State, start)
+	b := New(set, order, place.PeerComparison{MinScore: 3}, base.State, start)
 	takes := map[jobs.ID]arrival{}
 	var workers []*loadWorker
 	for n := range loadWorkers {
-		workers = append(workers, &loadWorker{id: jobs.WorkerID(fmt.Sprint("w", n)), runs: map[jobs.Task]loadRun{}})
+		workers = append(workers, &loadWorker{id: jobs.WorkerID(fmt.Sprint("w", n)), runs: map[jobs.TaskID]loadRun{}})
 	}
 	left := all
 	for now := clock.Millis(0); now < loadLength+loadPatience; now += loadStep {
@@ -138,7 +138,7 @@
 		for _, w := range workers {
 			w.work(now)
 			if !w.waits && now >= w.next {
-				b.Beat(w.beat(start+now), start+now)
+				b.Heartbeat(w.beat(start+now), start+now)
 			}
 		}
 		for _, o := range b.Pass(start + now).Orders {
@@ -149,7 +149,7 @@
 	n := 0
 	for _, a := range all {
 		r := b.State.Jobs[a.job.ID]
-		if r != nil && r.Status == jobs.StatusCompleted && r.Ended <= start+a.objective() {
+		if r != nil && r.Status == jobs.StatusCompleted && r.EndedAt <= start+a.objective() {
 			n++
 		}
 	}
@@ -158,37 +158,37 @@
 
 // work ends the tasks whose time has come.
 func (w *loadWorker) work(now clock.Millis) {
-	ids := make([]jobs.Task, 0, len(w.runs))
+	ids := make([]jobs.TaskID, 0, len(w.runs))
 	for id, r := range w.runs {
 		if r.due <= now {
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b jobs.Task) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
+	slices.SortFunc(ids, func(a, b jobs.TaskID) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
 	for _, id := range ids {
 		w.number++
-		w.ends = append(w.ends, End{Number: w.number, Task: id, Run: w.runs[id].run, How: jobs.HowDone})
+		w.ends = append(w.ends, RunEnd{Number: w.number, Task: id, Run: w.runs[id].run, Result: jobs.ResultDone})
 		delete(w.runs, id)
 		w.next = min(w.next, now+50)
 	}
 }
 
-func (w *loadWorker) beat(now clock.Millis) Beat {
+func (w *loadWorker) beat(now clock.Millis) Heartbeat {
 	w.seq++
 	w.waits = true
-	h := Beat{
-		Worker: w.id, Life: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
-		Room: jobs.Size{MilliCores: loadCores, MemoryMiB: 1 << 20}, Received: now,
+	h := Heartbeat{
+		Worker: w.id, Incarnation: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
+		Capacity: jobs.Resources{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
 	}
 	for id, r := range w.runs {
-		h.Running = append(h.Running, Running{Task: id, Run: r.run, Percent: 50})
+		h.Running = append(h.Running, RunStatus{Task: id, Run: r.run, Percent: 50})
 	}
 	return h
 }
 
 func (w *loadWorker) obey(o Orders, now clock.Millis, takes map[jobs.ID]arrival) {
-	w.waits, w.next = false, now+o.Retry
-	w.ends = slices.DeleteFunc(w.ends, func(e End) bool { return e.Number <= o.AckUpTo })
+	w.waits, w.next = false, now+o.RetryAfter
+	w.ends = slices.DeleteFunc(w.ends, func(e RunEnd) bool { return e.Number <= o.AckUpTo })
 	for _, s := range o.Starts {
 		w.runs[s.Task] = loadRun{run: s.Run, began: now, due: now + takes[s.Task.Job].takes}
 	}
@@ -200,7 +200,7 @@
 func TestOrderServesSurge(t *testing.T) {
 	for seed := range uint64(3) {
 		all := newLoad(seed)
-		bound, best, baseline := upperBound(all), onTime(EarliestObjective{}, all), onTime(Arrival{}, all)
+		bound, best, baseline := upperBound(all), onTime(EarliestDeadline{}, all), onTime(FIFO{}, all)
 		t.Logf("seed %d: %d jobs, bound %d, by objective %d, by arrival %d", seed, len(all), bound, best, baseline)
 		assert.Assert(t, best <= bound && baseline <= bound)
 		assert.Assert(t, best > baseline)
@@ -214,12 +214,12 @@
 	bound := float64(upperBound(all))
 	b.Run("by-objective", func(b *testing.B) {
 		for b.Loop() {
-			b.ReportMetric(float64(onTime(EarliestObjective{}, all))/bound, "of-bound")
+			b.ReportMetric(float64(onTime(EarliestDeadline{}, all))/bound, "of-bound")
 		}
 	})
 	b.Run("by-arrival", func(b *testing.B) {
 		for b.Loop() {
-			b.ReportMetric(float64(onTime(Arrival{}, all))/bound, "of-bound")
+			b.ReportMetric(float64(onTime(FIFO{}, all))/bound, "of-bound")
 		}
 	})
 }
--- a/core/state/sched/order.go
+++ b/core/state/sched/order.go
@@ -19,8 +19,8 @@
 	Seq uint64
 }
 
-// Order is the policy that says which waiting work goes first.
-type Order interface {
+// RankPolicy is the policy that says which waiting work goes first.
+type RankPolicy interface {
 	Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank
 }
 
@@ -31,21 +31,21 @@
 	classLate
 )
 
-// Objective is the latest time at which a job is on time.
-func Objective(r *jobs.Record, occurrence int) clock.Millis {
-	from := max(r.Accepted, r.Due(occurrence))
-	return from + r.Target + r.Chain()*clock.Millis(r.StretchPermille)/1000
+// Deadline is the latest time at which a job is on time.
+func Deadline(r *jobs.Record, occurrence int) clock.Millis {
+	from := max(r.AcceptedAt, r.Due(occurrence))
+	return from + r.Target + r.CriticalPath()*clock.Millis(r.StretchPermille)/1000
 }
 
-// EarliestObjective is for loads that exceed the workers for some seconds and
+// EarliestDeadline is for loads that exceed the workers for some seconds and
 // fall below them afterwards: work is done in the order of objectives, and
 // work that will miss its own comes after all that can still meet its. Without
 // the latter every job of a surge would be started just too late.
-type EarliestObjective struct{}
+type EarliestDeadline struct{}
 
 // Rank orders by objective.
-func (EarliestObjective) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
-	k := Rank{Class: classOnTime, Key: Objective(r, occurrence), Seq: r.Seq}
+func (EarliestDeadline) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
+	k := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
 	switch {
 	case lasting(&r.Job):
 		k.Class, k.Key = classLasting, clock.Millis(r.Priority)
@@ -63,10 +63,10 @@
 	o := &r.Occurrences[occurrence]
 	for i := range r.Steps {
 		var end clock.Millis
-		for _, before := range r.Steps[i].After {
+		for _, before := range r.Steps[i].DependsOn {
 			end = max(end, ends[before])
 		}
-		if o.Steps[i].Done < len(o.Steps[i].Tasks) {
+		if o.Steps[i].DoneTasks < len(o.Steps[i].Tasks) {
 			end += r.Steps[i].Estimate
 		}
 		ends = append(ends, end)
@@ -75,14 +75,14 @@
 	return longest
 }
 
-// Arrival is the baseline: work is done in the order of acceptance.
-type Arrival struct{}
+// FIFO is the baseline: work is done in the order of acceptance.
+type FIFO struct{}
 
 // Rank orders by acceptance.
-func (Arrival) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
+func (FIFO) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
 
 func lasting(j *jobs.Job) bool {
-	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.Lasting })
+	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.LongRunning })
 }
 
 // pool is the waiting work and the present workers of one pool.
@@ -102,7 +102,7 @@
 	arrived clock.Millis
 	rate    float64
 	// records is how tasks of the pool fared on its workers, by queue.
-	records map[jobs.QueueName]*place.Record
+	records map[jobs.QueueName]*place.ClassHistory
 }
 
 type groupKey struct {
@@ -112,11 +112,11 @@
 }
 
 // keyOf returns the step of a task.
-func keyOf(t jobs.Task) groupKey { return groupKey{t.Job, t.Occurrence, t.Step} }
+func keyOf(t jobs.TaskID) groupKey { return groupKey{t.Job, t.Occurrence, t.Step} }
 
 // task returns a task of the step.
-func (k groupKey) task(index int) jobs.Task {
-	return jobs.Task{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
+func (k groupKey) task(index int) jobs.TaskID {
+	return jobs.TaskID{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
 }
 
 // group is the waiting tasks of one step.
@@ -144,7 +144,7 @@
 }
 
 // heard yields the workers of a pool that were heard lately.
-func (b *Board[O, J]) heard(p *pool, now clock.Millis) iter.Seq[*worker] {
+func (b *Scheduler[O, J]) heard(p *pool, now clock.Millis) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
 		for _, w := range b.workers {
 			if b.pools[w.pool] == p && w.known && w.until >= now && !yield(w) {
@@ -154,11 +154,11 @@
 	}
 }
 
-func (b *Board[O, J]) pool(name jobs.PoolName) *pool {
+func (b *Scheduler[O, J]) pool(name jobs.PoolName) *pool {
 	p := b.pools[name]
 	if p == nil {
 		p = &pool{
-			index: map[groupKey]*group{}, present: map[jobs.WorkerID]*worker{}, records: map[jobs.QueueName]*place.Record{},
+			index: map[groupKey]*group{}, present: map[jobs.WorkerID]*worker{}, records: map[jobs.QueueName]*place.ClassHistory{},
 		}
 		b.pools[name] = p
 	}
@@ -166,7 +166,7 @@
 }
 
 // enter queues the tasks of a job that may start.
-func (b *Board[O, J]) enter(r *jobs.Record, now clock.Millis) {
+func (b *Scheduler[O, J]) enter(r *jobs.Record, now clock.Millis) {
 	if r.Status.Final() {
 		return
 	}
@@ -179,10 +179,10 @@
 	}
 }
 
-func (b *Board[O, J]) enterOccurrence(r *jobs.Record, k int, now clock.Millis) {
+func (b *Scheduler[O, J]) enterOccurrence(r *jobs.Record, k int, now clock.Millis) {
 	p := b.pool(b.poolOf(r))
 	for i := range r.Steps {
-		p.arrived += ending(&r.Steps[i], r.Steps[i].Count, r.Steps[i].Estimate)
+		p.arrived += ending(&r.Steps[i], r.Steps[i].TaskCount, r.Steps[i].Estimate)
 	}
 	for i := range r.Steps {
 		if !r.Ready(k, i) {
@@ -191,14 +191,14 @@
 		tasks := r.Occurrences[k].Steps[i].Tasks
 		for n := len(tasks) - 1; n >= 0; n-- {
 			if tasks[n].Phase == jobs.PhaseWaiting {
-				b.queue(r, jobs.Task{Job: r.ID, Occurrence: k, Step: i, Index: n}, now)
+				b.queue(r, jobs.TaskID{Job: r.ID, Occurrence: k, Step: i, Index: n}, now)
 			}
 		}
 	}
 }
 
 // queue adds a waiting task.
-func (b *Board[O, J]) queue(r *jobs.Record, t jobs.Task, now clock.Millis) {
+func (b *Scheduler[O, J]) queue(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
 	if r.Status.Final() {
 		return
 	}
@@ -219,7 +219,7 @@
 }
 
 // regroup moves waiting work to the pools that the configuration names now.
-func (b *Board[O, J]) regroup() {
+func (b *Scheduler[O, J]) regroup() {
 	for name, p := range b.pools {
 		kept := p.groups[:0]
 		for _, g := range p.groups {
@@ -243,7 +243,7 @@
 const rankPeriod clock.Millis = 100
 
 // arrange sorts the groups by rank and drops those without waiting tasks.
-func (b *Board[O, J]) arrange(p *pool, now clock.Millis) {
+func (b *Scheduler[O, J]) arrange(p *pool, now clock.Millis) {
 	fresh := now-p.ranked >= rankPeriod
 	if !fresh && p.sorted {
 		return
@@ -271,7 +271,7 @@
 }
 
 // release queues the occurrences that have fallen due.
-func (b *Board[O, J]) release(now clock.Millis) {
+func (b *Scheduler[O, J]) release(now clock.Millis) {
 	for b.later.Len() > 0 && b.later.Top().due <= now {
 		l := b.later.Pop()
 		if r := b.State.Jobs[l.job]; r != nil && !r.Status.Final() {
--- a/core/state/sched/pace.go
+++ b/core/state/sched/pace.go
@@ -39,7 +39,7 @@
 // setPace slows the filling tasks on a worker down while a serving task there
 // answers too slowly, and lets them speed up step by step once it does not. It
 // answers loads of serving tasks that change within seconds.
-func (b *Board[O, J]) setPace(w *worker, now clock.Millis) {
+func (b *Scheduler[O, J]) setPace(w *worker, now clock.Millis) {
 	worst, fillers := w.tails()
 	if fillers == 0 {
 		w.pace = pace{percent: fullPace}
@@ -58,7 +58,7 @@
 	}
 	for _, id := range sortedTasks(w.runs) {
 		if r := w.runs[id]; r.fills() {
-			w.beat.rates = append(w.beat.rates, Rate{Task: id, Run: r.number, Percent: w.pace.percent})
+			w.beat.rates = append(w.beat.rates, Throttle{Task: id, Run: r.number, Percent: w.pace.percent})
 		}
 	}
 }
@@ -78,7 +78,7 @@
 }
 
 // fills reports whether the run is a filling task that takes orders.
-func (r *run) fills() bool { return r.step.Filler && r.listed && !r.stopping }
+func (r *run) fills() bool { return r.step.BestEffort && r.listed && !r.stopping }
 
 // tails returns the worst tail of the serving tasks on the worker, in
 // thousandths of its target, and the number of filling tasks beside them.
@@ -87,8 +87,8 @@
 		if r.fills() {
 			fillers++
 		}
-		if r.step.Lasting && r.step.Latency > 0 && r.atWork() {
-			worst = max(worst, r.load*1000/int(r.step.Latency))
+		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.atWork() {
+			worst = max(worst, r.load*1000/int(r.step.LatencyTarget))
 		}
 	}
 	return worst, fillers
--- a/core/state/sched/pace_test.go
+++ b/core/state/sched/pace_test.go
@@ -17,11 +17,11 @@
 const target clock.Millis = 100
 
 // newPaceRig is a worker with a serving and a filling task at work.
-func newPaceRig(t *testing.T) (*rig, []Running) {
+func newPaceRig(t *testing.T) (*rig, []RunStatus) {
 	t.Helper()
 	r := newRig(Defaults())
-	r.submit("serve", jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 4000, MemoryMiB: 100}, Lasting: true, Latency: target})
-	r.submit("fill", jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 8000, MemoryMiB: 100}, Lasting: true, Filler: true})
+	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
+	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
 	assert.Equal(t, len(running), 2)
@@ -55,17 +55,17 @@
 		p := r.Pass(r.now)
 		before := r.now
 		for len(p.Orders) == 0 {
-			r.now = max(p.Wake, r.now+1)
+			r.now = max(p.NextPass, r.now+1)
 			p = r.Pass(r.now)
 		}
 		answers++
 		if answers%3 != 0 {
-			for _, x := range p.Orders[0].Rates {
+			for _, x := range p.Orders[0].Throttles {
 				assert.Equal(t, x.Task.Job, jobs.ID("fill"))
 				pace = x.Percent
 			}
 		}
-		r.now += p.Orders[0].Retry
+		r.now += p.Orders[0].RetryAfter
 		work += (r.now - before) * clock.Millis(pace) / 100
 		if over += r.now - before; clock.Millis(tail) <= target {
 			over = 0
@@ -89,7 +89,7 @@
 	}
 	r.now += paceMillis
 	r.hear("w1", 1, running)
-	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Rates), 0)
+	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Throttles), 0)
 }
 
 // TestNewLeaderSetsPace guards against a filler that stays slow for good because
@@ -101,14 +101,14 @@
 	}
 	r.now += paceMillis
 	r.hear("w1", 1, running)
-	assert.Assert(t, orders(r.Pass(r.now), "w1").Rates[0].Percent < 100)
-	next := &rig{testBoard: NewBoard(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	assert.Assert(t, orders(r.Pass(r.now), "w1").Throttles[0].Percent < 100)
+	next := &rig{testBoard: New(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	for i := range running {
 		running[i].Load = int(target) / 4
 	}
 	next.hear("w1", 1, running)
-	next.now += next.set.HoldMillis
-	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Rates, []Rate{{Task: jobs.Task{Job: "fill"}, Run: 1, Percent: 100}})
+	next.now += next.set.MaxHoldMillis
+	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Throttles, []Throttle{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
 }
 
 // TestSlowFillerIsNotStopped guards against a filler that is started anew again
@@ -116,7 +116,7 @@
 func TestSlowFillerIsNotStopped(t *testing.T) {
 	r := newRig(Defaults())
 	fill := small
-	fill.Filler = true
+	fill.BestEffort = true
 	r.submit("fill", fill)
 	r.hear("w1", 1, nil)
 	running := runningOf(orders(r.Pass(r.now), "w1"))
--- a/core/state/sched/sched_test.go
+++ b/core/state/sched/sched_test.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for id, r := range w.committed.Jobs {
-		if r.Steps[0].Lasting {
+		if r.Steps[0].LongRunning {
 			w.lead.board.Cancel(id, w.now)
 		}
 	}
@@ -86,23 +86,23 @@
 	s := jobs.New()
 	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p"}, {Name: "other"}, {Name: "off", Standby: true}},
-		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500}},
 	}}}, 1000)
-	return &rig{testBoard: NewBoard(set, EarliestObjective{}, place.Peers{Least: 3}, s, 1000), now: 1000}
+	return &rig{testBoard: New(set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000), now: 1000}
 }
 
 // hear passes a heartbeat of a worker with 16 processors, which runs what is
 // given.
-func (r *rig) hear(id string, life jobs.Life, running []Running, ends ...End) {
+func (r *rig) hear(id string, life jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
 	r.seq++
-	r.Beat(Beat{
-		Worker: jobs.WorkerID(id), Life: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
-		Seq: r.seq, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, Received: r.now,
+	r.Heartbeat(Heartbeat{
+		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
+		Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
 	}, r.now)
 }
 
 func (r *rig) submit(id string, steps ...jobs.Step) {
-	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", Attempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
+	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
 }
 
 // orders returns the orders for a worker of a plan.
@@ -125,7 +125,7 @@
 	return out
 }
 
-var small = jobs.Step{Count: 1, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
+var small = jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
 
 // TestLostStartIsRepeated guards against a task that waits forever because the
 // answer that ordered its start was lost.
@@ -164,9 +164,9 @@
 	r.Pass(r.now)
 	r.submit("a", small)
 	r.seq++
-	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Life: 1, Machine: "m-w1", Pool: "p", Seq: 99, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
-	r.Leave("w1", 0, r.now)
-	assert.Assert(t, !r.Beat(Beat{Worker: "w1", Life: 2, Machine: "m-w1", Pool: "p", Seq: 100, Room: jobs.Size{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	r.RemoveWorker("w1", 0, r.now)
+	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 }
 
 // TestPoisonSetsNoWorkerAside guards against one job that can never be done
@@ -174,13 +174,13 @@
 func TestPoisonSetsNoWorkerAside(t *testing.T) {
 	r := newRig(Defaults())
 	poison := small
-	poison.Count = 8
+	poison.TaskCount = 8
 	r.submit("bad", poison)
 	r.hear("w1", 1, nil)
 	o := orders(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 8)
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
 	r.Pass(r.now)
 	r.submit("good", small)
 	r.now += 100
@@ -192,10 +192,10 @@
 	assert.DeepEqual(t, started, []jobs.ID{"good"})
 }
 
-func endsOf(o Orders, how jobs.How) []End {
-	var out []End
+func endsOf(o Orders, how jobs.Result) []RunEnd {
+	var out []RunEnd
 	for n, s := range o.Starts {
-		out = append(out, End{Number: int64(n + 1), Task: s.Task, Run: s.Run, How: how})
+		out = append(out, RunEnd{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: how})
 	}
 	return out
 }
@@ -211,7 +211,7 @@
 	o := orders(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 3)
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.HowFailed)...)
+	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
 	r.Pass(r.now)
 	r.submit("d", small)
 	r.now += 800
@@ -226,17 +226,17 @@
 // count before the platform has answered.
 func TestWaveKeepsAvailability(t *testing.T) {
 	r := newRig(Defaults())
-	step := jobs.Step{Count: 2, Need: jobs.Size{MilliCores: 1000, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1}
+	step := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
 	r.submit("serve", step)
 	r.hear("w1", 1, nil)
 	r.hear("w2", 1, nil)
 	p := r.Pass(r.now)
-	r.now += r.set.QuietMillis + 100
+	r.now += r.set.TakeoverDelayMillis + 100
 	for _, id := range []string{"w1", "w2"} {
 		s := orders(p, id).Starts[0]
-		r.hear(id, 1, []Running{{Task: s.Task, Run: s.Run, Percent: 100}})
+		r.hear(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
 	}
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, Cap: 2, Deadline: 5000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, r.now)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 1)
 }
 
@@ -244,16 +244,16 @@
 // return of machines without a worker.
 func TestWavePassesMachinesThatAreOff(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, Cap: 1, Deadline: 30_000}, r.now)
+	r.now += r.set.TakeoverDelayMillis
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	first := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(first), 1)
-	r.Acted(first[0], Outcome{Answer: AnswerDone}, r.now)
+	r.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, r.now)
 	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 0)
-	r.now += 3 * r.set.DownMillis
+	r.now += 3 * r.set.MaintenanceMillis
 	second := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(second), 1)
-	r.Acted(second[0], Outcome{Answer: AnswerDone}, r.now)
+	r.HandleOutcome(second[0], Outcome{Answer: AnswerDone}, r.now)
 	assert.Assert(t, r.State.Waves[1].Completed())
 }
 
@@ -262,22 +262,22 @@
 // repeated all orders at once.
 func TestNewLeaderKeepsCap(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	machines := []jobs.MachineID{"m1", "m2", "m3", "m4", "m5"}
-	r.Declare(jobs.Wave{Number: 1, Machines: machines, Cap: 2, Deadline: 5000}, r.now)
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
 	for range 5 {
 		for _, a := range actions(r.Pass(r.now), ActionMaintain) {
-			r.Acted(a, Outcome{Answer: AnswerLater}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
 		r.now += upkeepPeriod
 	}
-	next := &rig{testBoard: NewBoard(r.set, EarliestObjective{}, place.Peers{Least: 3}, r.State.Clone(), r.now), now: r.now}
+	next := &rig{testBoard: New(r.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, r.State.Clone(), r.now), now: r.now}
 	assert.Assert(t, len(next.State.Waves[1].Ordered) > 2)
 	down := map[jobs.MachineID]clock.Millis{}
 	for range 400 {
 		for _, a := range actions(next.Pass(next.now), ActionMaintain) {
-			down[a.Machine] = next.now + next.set.DownMillis
-			next.Acted(a, Outcome{Answer: AnswerDone}, next.now)
+			down[a.Machine] = next.now + next.set.MaintenanceMillis
+			next.HandleOutcome(a, Outcome{Answer: AnswerDone}, next.now)
 		}
 		n := 0
 		for _, until := range down {
@@ -295,22 +295,22 @@
 // the platform refuses a machine that is gone for good.
 func TestWaveDropsMissingMachines(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, Cap: 1, Deadline: 60_000}, r.now)
+	r.now += r.set.TakeoverDelayMillis
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, r.now)
 	lists := 0
 	for range 40 {
 		p := r.Pass(r.now)
 		for _, a := range actions(p, ActionMaintain) {
-			r.Acted(a, Outcome{Answer: AnswerLater}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
-		for _, a := range actions(p, ActionList) {
+		for _, a := range actions(p, ActionListMachines) {
 			lists++
 			// The first list still names the machine.
 			machines := []Machine{{ID: "m-other", Pool: "p", Up: true}}
 			if lists == 1 {
 				machines = append(machines, Machine{ID: "m-gone", Pool: "p"})
 			}
-			r.Acted(a, Outcome{Machines: machines}, r.now)
+			r.HandleOutcome(a, Outcome{Machines: machines}, r.now)
 		}
 		r.now += 200
 	}
@@ -324,15 +324,15 @@
 	r := newRig(Defaults())
 	r.hear("w1", 1, nil)
 	r.Pass(r.now)
-	r.now += r.set.QuietMillis
-	r.Declare(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, Cap: 1, Deadline: 30_000}, r.now)
+	r.now += r.set.TakeoverDelayMillis
+	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
 	order := actions(r.Pass(r.now), ActionMaintain)[0]
-	r.Acted(order, Outcome{Answer: AnswerUnknown}, r.now)
+	r.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, r.now)
 	r.now += 2500
 	r.hear("w1", 2, nil)
 	again := actions(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(again), 1)
-	r.Acted(again[0], Outcome{Answer: AnswerDone}, r.now)
+	r.HandleOutcome(again[0], Outcome{Answer: AnswerDone}, r.now)
 	r.now += 100
 	r.submit("a", small)
 	r.hear("w1", 2, nil)
@@ -344,18 +344,18 @@
 // callers get their work started in time only with machines that were off.
 func TestSurgeBringsMachines(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.hear("w1", 1, nil)
 	p := r.Pass(r.now)
-	assert.Equal(t, len(actions(p, ActionList)), 1)
-	r.Acted(actions(p, ActionList)[0], Outcome{Machines: []Machine{
-		{ID: "s1", Pool: "off", Up: true, Room: jobs.Size{MilliCores: 16_000}},
+	assert.Equal(t, len(actions(p, ActionListMachines)), 1)
+	r.HandleOutcome(actions(p, ActionListMachines)[0], Outcome{Machines: []Machine{
+		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
 		{ID: "m-w1", Pool: "p", Up: true},
 	}}, r.now)
 	many := small
-	many.Count, many.Estimate = 100, 1000
+	many.TaskCount, many.Estimate = 100, 1000
 	r.submit("surge", many)
 	r.now += surgePeriod
 	moves := actions(r.Pass(r.now), ActionMove)
@@ -367,8 +367,8 @@
 // workers than tasks.
 func TestLastingTasksGetMachines(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
-	r.submit("serve", jobs.Step{Count: 3, Need: jobs.Size{MilliCores: 100, MemoryMiB: 100}, Lasting: true, MayMiss: 1, PerWorker: 1})
+	r.now += r.set.TakeoverDelayMillis
+	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
 	r.hear("w1", 1, nil)
@@ -382,7 +382,7 @@
 // run nothing, beyond the reserve.
 func TestIdleMachinesGoOff(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
 	ids := []string{"w1", "w2", "w3", "w4"}
 	for range 4 {
@@ -391,7 +391,7 @@
 		}
 		p := r.Pass(r.now)
 		if moves := actions(p, ActionMove); len(moves) > 0 {
-			assert.Equal(t, len(moves), 4-r.set.Reserve)
+			assert.Equal(t, len(moves), 4-r.set.ReserveMachines)
 			assert.Equal(t, moves[0].Pool, jobs.PoolName("off"))
 			return
 		}
@@ -404,14 +404,14 @@
 // because the platform did not answer the order to move its machine.
 func TestLostMoveGivesWorkerBack(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
 	for range 12 {
 		for _, id := range []string{"w1", "w2", "w3"} {
 			r.hear(id, 1, nil)
 		}
 		for _, a := range actions(r.Pass(r.now), ActionMove) {
-			r.Acted(a, Outcome{Answer: AnswerUnknown}, r.now)
+			r.HandleOutcome(a, Outcome{Answer: AnswerUnknown}, r.now)
 		}
 		r.now += clock.Second
 	}
@@ -424,7 +424,7 @@
 	assert.Assert(t, leaving <= 1)
 	r.now += 2 * moveLost
 	wide := small
-	wide.Count, wide.PerWorker = 3, 1
+	wide.TaskCount, wide.MaxPerWorker = 3, 1
 	r.submit("a", wide)
 	for range 2 {
 		for _, id := range []string{"w1", "w2", "w3"} {
@@ -440,7 +440,7 @@
 // between its start and its first job, and is missing when that comes.
 func TestFleetWaitsForItsFirstLoad(t *testing.T) {
 	r := newRig(Defaults())
-	r.now += r.set.QuietMillis
+	r.now += r.set.TakeoverDelayMillis
 	r.fleet.listed, r.fleet.asked = r.now, r.now
 	for range 10 {
 		for _, id := range []string{"w1", "w2", "w3", "w4"} {
@@ -457,7 +457,7 @@
 func TestLateWorkGoesLast(t *testing.T) {
 	r := newRig(Defaults())
 	wide := small
-	wide.Count, wide.Need.MilliCores = 4, 4000
+	wide.TaskCount, wide.Resources.MilliCores = 4, 4000
 	r.submit("old", wide)
 	r.now += 3600
 	r.submit("new", wide)
--- a/core/state/sched/surge.go
+++ b/core/state/sched/surge.go
@@ -39,7 +39,7 @@
 	moves map[jobs.MachineID]move
 	spent map[jobs.MachineID]clock.Millis
 	// room is the size of a machine by its pool.
-	room jobs.Size
+	room jobs.Resources
 	// listing is set while a list is on its way; listed is when the last came.
 	listing bool
 	// unlisted is set when a reading of the list failed.
@@ -57,7 +57,7 @@
 type move struct {
 	to jobs.PoolName
 	// life is that of the machine's worker at the order; 0 for none.
-	life jobs.Life
+	life jobs.Incarnation
 	at   clock.Millis
 }
 
@@ -84,8 +84,8 @@
 // those that are off, and idle ones of other pools. Machines that stay idle go
 // off. It answers loads that rise to several times their mean for seconds, by
 // turns, while a move takes about a second and a half.
-func (b *Board[O, J]) surge(now clock.Millis) {
-	if b.set.SurgeMillis == 0 || now < b.fleet.next || now < b.began+b.set.QuietMillis {
+func (b *Scheduler[O, J]) surge(now clock.Millis) {
+	if b.set.BacklogTargetMillis == 0 || now < b.fleet.next || now < b.began+b.set.TakeoverDelayMillis {
 		return
 	}
 	b.fleet.next = now + surgePeriod
@@ -118,7 +118,7 @@
 
 // worked reports whether work that ends was handed in. Before that a fleet that
 // has only started would be turned off just ahead of its first load.
-func (b *Board[O, J]) worked() bool {
+func (b *Scheduler[O, J]) worked() bool {
 	if !b.fleet.worked {
 		for _, r := range b.State.Jobs {
 			b.fleet.worked = b.fleet.worked || !lasting(&r.Job)
@@ -128,7 +128,7 @@
 }
 
 // noteLoads adds a line for each pool to the plan every few seconds.
-func (b *Board[O, J]) noteLoads(loads []*demand, now clock.Millis) {
+func (b *Scheduler[O, J]) noteLoads(loads []*demand, now clock.Millis) {
 	if now < b.fleet.noted+notePeriod {
 		return
 	}
@@ -140,7 +140,7 @@
 				serving++
 			}
 		}
-		b.noteFleet(DecisionLoad, fmt.Sprintf(
+		b.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
 			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work()/1000))
 	}
@@ -149,7 +149,7 @@
 // serves reports whether lasting tasks run on the worker.
 func (w *worker) serves() bool {
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			return true
 		}
 	}
@@ -157,7 +157,7 @@
 }
 
 // standbyPool names the pool whose machines are off; empty for none.
-func (b *Board[O, J]) standbyPool() jobs.PoolName {
+func (b *Scheduler[O, J]) standbyPool() jobs.PoolName {
 	for _, p := range b.State.Config.Pools {
 		if p.Standby {
 			return p.Name
@@ -168,7 +168,7 @@
 
 // list asks for the list of machines when it is old, and reports whether one
 // has come, or failed to come, in this term.
-func (b *Board[O, J]) list(now clock.Millis) bool {
+func (b *Scheduler[O, J]) list(now clock.Millis) bool {
 	f := &b.fleet
 	wait := listPeriod
 	if f.listed == 0 {
@@ -176,19 +176,19 @@
 	}
 	if !f.listing && (f.asked == 0 || now-f.asked >= wait) {
 		f.listing, f.asked = true, now
-		b.out.Actions = append(b.out.Actions, Action{Kind: ActionList})
+		b.out.Actions = append(b.out.Actions, Action{Kind: ActionListMachines})
 	}
 	return f.listed != 0 || f.unlisted
 }
 
 // machinesListed takes the list of machines.
-func (b *Board[O, J]) machinesListed(o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) machinesListed(o Outcome, now clock.Millis) {
 	f := &b.fleet
 	f.listing = false
 	if o.Answer != AnswerDone {
 		// Machines that are off are not known, but those of the pools are.
 		f.unlisted = true
-		b.noteFleet(DecisionNoList, o.String())
+		b.noteFleet(DecisionListFailed, o.String())
 		return
 	}
 	f.listed = now
@@ -200,8 +200,8 @@
 	listed := make(map[jobs.MachineID]bool, len(o.Machines))
 	for _, m := range o.Machines {
 		listed[m.ID] = true
-		if f.room.MilliCores < m.Room.MilliCores {
-			f.room = m.Room
+		if f.room.MilliCores < m.Capacity.MilliCores {
+			f.room = m.Capacity
 		}
 		if _, moving := f.moves[m.ID]; off[m.Pool] && m.Up && !moving {
 			f.standby[m.ID] = m.Pool
@@ -214,7 +214,7 @@
 
 // loads measures the pools that have queues, those with the most lacking
 // machines first.
-func (b *Board[O, J]) loads(now clock.Millis) []*demand {
+func (b *Scheduler[O, J]) loads(now clock.Millis) []*demand {
 	by := map[jobs.PoolName]*demand{}
 	for _, p := range b.State.Config.Pools {
 		if !p.Standby {
@@ -234,7 +234,7 @@
 			d.have--
 			continue
 		}
-		busy[w.pool] += w.load(now, b.set.SurgeMillis)
+		busy[w.pool] += w.load(now, b.set.BacklogTargetMillis)
 		if len(w.runs)+len(w.strays) == 0 {
 			if w.idle == 0 {
 				w.idle = now
@@ -260,7 +260,7 @@
 	for name, d := range by {
 		p := b.pool(name)
 		p.average()
-		need := int(busy[name] + p.work()/b.set.SurgeMillis + clock.Millis(p.rate))
+		need := int(busy[name] + p.work()/b.set.BacklogTargetMillis + clock.Millis(p.rate))
 		d.want = (need + each - 1) / each
 		if n := b.pool(name).unplaced(now); n > 0 {
 			d.want = max(d.want, d.have+n)
@@ -281,8 +281,8 @@
 func (p *pool) unplaced(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
-		if g.step.Lasting && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
-			each := max(g.step.PerWorker, 1)
+		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
+			each := max(g.step.MaxPerWorker, 1)
 			n = max(n, (len(g.waiting)+each-1)/each)
 		}
 	}
@@ -302,10 +302,10 @@
 // ending is the work of some tasks of a step that ends, in thousandths of a
 // processor times milliseconds; 0 for tasks that last or fill.
 func ending(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
-	if s.Lasting || s.Filler {
+	if s.LongRunning || s.BestEffort {
 		return 0
 	}
-	return clock.Millis(tasks*s.Need.MilliCores) * each
+	return clock.Millis(tasks*s.Resources.MilliCores) * each
 }
 
 // load is the room that the worker's tasks need within a time: all of it for
@@ -313,7 +313,7 @@
 func (w *worker) load(now, within clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			sum += clock.Millis(counted(r.step).MilliCores)
 			continue
 		}
@@ -336,22 +336,22 @@
 func (p *pool) work() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
-		if g.step.Filler || g.rec.Status.Final() || g.rank.Class == classLate {
+		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
 			continue
 		}
 		length := g.step.Estimate
-		if g.step.Lasting {
+		if g.step.LongRunning {
 			// A lasting task holds its room for good.
 			length = clock.Second
 		}
-		sum += clock.Millis(len(g.waiting)*g.step.Need.MilliCores) * length
+		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * length
 	}
 	return sum
 }
 
 // bring moves one machine to a pool: one that is off, or else the one that is
 // idle for longest in a pool with more than it needs.
-func (b *Board[O, J]) bring(d *demand, loads []*demand, now clock.Millis) bool {
+func (b *Scheduler[O, J]) bring(d *demand, loads []*demand, now clock.Millis) bool {
 	for _, m := range slices.Sorted(maps.Keys(b.fleet.standby)) {
 		if b.fleet.spent[m] <= now && !b.inWave(m) {
 			delete(b.fleet.standby, m)
@@ -361,7 +361,7 @@
 	}
 	for i := len(loads) - 1; i >= 0; i-- {
 		from := loads[i]
-		if from == d || from.have-from.want <= b.set.Reserve {
+		if from == d || from.have-from.want <= b.set.ReserveMachines {
 			continue
 		}
 		for k, w := range from.idle {
@@ -381,10 +381,10 @@
 // part keeps new tasks off the machines of pools with more than they need, as
 // many as others lack: tasks of a second or two would otherwise keep each of
 // them a little busy for as long as the pool has any work.
-func (b *Board[O, J]) part(loads []*demand, lack int) {
+func (b *Scheduler[O, J]) part(loads []*demand, lack int) {
 	for i := len(loads) - 1; i >= 0; i-- {
 		d := loads[i]
-		spare := d.have - d.want - b.set.Reserve
+		spare := d.have - d.want - b.set.ReserveMachines
 		for _, w := range d.busy {
 			w.parting = lack > 0 && spare > 0
 			b.dirty[b.pool(w.pool)] = true
@@ -397,11 +397,11 @@
 }
 
 // dismiss sends machines that stay idle to the standby pool.
-func (b *Board[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
+func (b *Scheduler[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
 	off := &demand{name: standby}
 	for _, d := range loads {
 		for _, w := range d.idle {
-			if w.leaving || w.machine == "" || d.have-d.want <= b.set.Reserve || now-w.idle < b.set.IdleMillis || b.fleet.spent[w.machine] > now {
+			if w.leaving || w.machine == "" || d.have-d.want <= b.set.ReserveMachines || now-w.idle < b.set.IdleMillis || b.fleet.spent[w.machine] > now {
 				continue
 			}
 			d.have--
@@ -413,7 +413,7 @@
 
 // inWave reports whether a machine may be down for a wave; it is not moved
 // meanwhile.
-func (b *Board[O, J]) inWave(m jobs.MachineID) bool {
+func (b *Scheduler[O, J]) inWave(m jobs.MachineID) bool {
 	for _, v := range b.waves {
 		if _, away := v.away[m]; away || v.flying[m] {
 			return true
@@ -422,14 +422,14 @@
 	return false
 }
 
-func (b *Board[O, J]) move(m jobs.MachineID, life jobs.Life, to *demand, now clock.Millis) {
+func (b *Scheduler[O, J]) move(m jobs.MachineID, life jobs.Incarnation, to *demand, now clock.Millis) {
 	to.have++
 	b.fleet.moves[m] = move{to: to.name, life: life, at: now}
 	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
 }
 
 // moved takes the platform's answer to a move.
-func (b *Board[O, J]) moved(a Action, o Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) moved(a Action, o Outcome, now clock.Millis) {
 	v, ok := b.fleet.moves[a.Machine]
 	if !ok || v.to != a.Pool {
 		return
@@ -437,11 +437,11 @@
 	w := b.machines[a.Machine]
 	same := w != nil && w.life == v.life
 	if o.Answer != AnswerDone {
-		b.noteFleet(DecisionNotMoved, fmt.Sprintf("%s to %s: %s", a.Machine, a.Pool, o))
+		b.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to %s: %s", a.Machine, a.Pool, o))
 	}
 	switch o.Answer {
 	case AnswerDone:
-		b.noteFleet(DecisionMoved, string(a.Machine)+" to "+string(a.Pool))
+		b.noteFleet(DecisionMachineMoved, string(a.Machine)+" to "+string(a.Pool))
 		if same {
 			b.remove(w, "its machine is moved", now)
 		}
@@ -462,7 +462,7 @@
 }
 
 // arrived notes that a moved machine has a worker again.
-func (b *Board[O, J]) arrived(w *worker) {
+func (b *Scheduler[O, J]) arrived(w *worker) {
 	if v, ok := b.fleet.moves[w.machine]; ok && v.life != w.life && v.to == w.pool {
 		delete(b.fleet.moves, w.machine)
 	}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -12,32 +12,32 @@
 	LeaseMillis clock.Millis
 	// DriftPermille bounds by how much a worker's clock may run slow.
 	DriftPermille clock.Millis
-	// HoldMillis bounds how long the answer to a heartbeat is held back. A
+	// MaxHoldMillis bounds how long the answer to a heartbeat is held back. A
 	// worker drops an answer that comes after a second.
-	HoldMillis clock.Millis
-	// RetryMillis is the shortest pause that a worker is told to make before
+	MaxHoldMillis clock.Millis
+	// MinRetryMillis is the shortest pause that a worker is told to make before
 	// its next heartbeat, and SlowRetryMillis the longest.
-	RetryMillis     clock.Millis
-	SlowRetryMillis clock.Millis
-	// QuietMillis is how long a new leader orders no maintenance, so that two
+	MinRetryMillis clock.Millis
+	MaxRetryMillis clock.Millis
+	// TakeoverDelayMillis is how long a new leader orders no maintenance, so that two
 	// leaders do not give orders for a machine in turns.
-	QuietMillis clock.Millis
-	// DownMillis is how long the maintenance of a machine takes.
-	DownMillis clock.Millis
-	// SurgeMillis is the time within which the waiting work of a pool is to be
+	TakeoverDelayMillis clock.Millis
+	// MaintenanceMillis is how long the maintenance of a machine takes.
+	MaintenanceMillis clock.Millis
+	// BacklogTargetMillis is the time within which the waiting work of a pool is to be
 	// started; machines are moved to a pool that needs longer. 0 turns moves
 	// off.
-	SurgeMillis clock.Millis
+	BacklogTargetMillis clock.Millis
 	// MoveMillis is how long a move of a machine takes.
 	MoveMillis clock.Millis
 	// IdleMillis is how long a machine runs nothing before it goes to the
 	// standby pool.
 	IdleMillis clock.Millis
-	// Reserve is the number of machines beyond its need that a pool keeps.
-	Reserve int
-	// AsideMillis is how long a worker that fails its tasks gets no others
+	// ReserveMachines is the number of machines beyond its need that a pool keeps.
+	ReserveMachines int
+	// QuarantineMillis is how long a worker that fails its tasks gets no others
 	// before it is tried again.
-	AsideMillis clock.Millis
+	QuarantineMillis clock.Millis
 	// StallMillis is how long a task may make no progress before it is started
 	// elsewhere.
 	StallMillis clock.Millis
@@ -46,19 +46,19 @@
 // Defaults are the settings that tests and the product start from.
 func Defaults() Settings {
 	return Settings{
-		LeaseMillis: 4 * clock.Second, DriftPermille: 25, HoldMillis: 700, RetryMillis: 20, SlowRetryMillis: 250,
-		QuietMillis: 3 * clock.Second, DownMillis: 2 * clock.Second, AsideMillis: 5 * clock.Second,
-		SurgeMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, Reserve: 2,
+		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
+		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second,
+		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, ReserveMachines: 2,
 		StallMillis: 1500,
 	}
 }
 
-// Running is a run that a worker lists.
-type Running struct {
-	Task jobs.Task
+// RunStatus is a run that a worker lists.
+type RunStatus struct {
+	Task jobs.TaskID
 	Run  int
-	// Saved is the latest checkpoint; empty for none.
-	Saved string
+	// Checkpoint is the latest checkpoint; empty for none.
+	Checkpoint string
 	// Percent is the progress of a task that ends, and 100 for a lasting task
 	// that is at work.
 	Percent int
@@ -67,46 +67,46 @@
 	Load int
 }
 
-// End is the end of a run.
-type End struct {
+// RunEnd is the end of a run.
+type RunEnd struct {
 	// Number counts the ends of one life of a worker from 1.
-	Number int64
-	Task   jobs.Task
-	Run    int
-	How    jobs.How
-	Saved  string
+	Number     int64
+	Task       jobs.TaskID
+	Run        int
+	Result     jobs.Result
+	Checkpoint string
 }
 
-// Beat is a heartbeat of a worker.
-type Beat struct {
-	Worker  jobs.WorkerID
-	Life    jobs.Life
-	Machine jobs.MachineID
-	Pool    jobs.PoolName
-	Zone    string
-	Labels  []string
+// Heartbeat is a heartbeat of a worker.
+type Heartbeat struct {
+	Worker      jobs.WorkerID
+	Incarnation jobs.Incarnation
+	Machine     jobs.MachineID
+	Pool        jobs.PoolName
+	Zone        string
+	Labels      []string
 	// Seq grows with each heartbeat of a life.
 	Seq int64
-	// Room is all that the worker has for tasks.
-	Room jobs.Size
+	// Capacity is all that the worker has for tasks.
+	Capacity jobs.Resources
 	// Draining workers get no new task. Remaining is the least time that is
 	// left to them.
 	Draining  bool
 	Remaining clock.Millis
 	// Running and Ends are complete but for ends beyond a bound of the
 	// worker's, which follow once earlier ones are acknowledged.
-	Running []Running
-	Ends    []End
-	// Received is the steady time at which the leader got the heartbeat.
-	Received clock.Millis
+	Running []RunStatus
+	Ends    []RunEnd
+	// ReceivedAt is the steady time at which the leader got the heartbeat.
+	ReceivedAt clock.Millis
 }
 
 // Start tells a worker to run a task.
 type Start struct {
-	Task  jobs.Task
-	Run   int
-	Spec  string
-	Saved string
+	Task       jobs.TaskID
+	Run        int
+	Spec       string
+	Checkpoint string
 	// Ticket is the leave of the advice service; empty for a queue without
 	// advice.
 	Ticket string
@@ -114,30 +114,30 @@
 
 // Stop tells a worker to end a run.
 type Stop struct {
-	Task jobs.Task
+	Task jobs.TaskID
 	Run  int
 }
 
-// Rate tells a worker to let a task work at a share of its speed.
-type Rate struct {
-	Task    jobs.Task
+// Throttle tells a worker to let a task work at a share of its speed.
+type Throttle struct {
+	Task    jobs.TaskID
 	Run     int
 	Percent int
 }
 
 // Orders answer a heartbeat.
 type Orders struct {
-	Worker jobs.WorkerID
-	Life   jobs.Life
+	Worker      jobs.WorkerID
+	Incarnation jobs.Incarnation
 	// AckUpTo is the number of the last end that is taken note of.
-	AckUpTo int64
-	Starts  []Start
-	Stops   []Stop
-	Rates   []Rate
-	// Retry is the pause until the next heartbeat.
-	Retry clock.Millis
-	// Lease is false for a worker that may no longer run anything.
-	Lease bool
+	AckUpTo   int64
+	Starts    []Start
+	Stops     []Stop
+	Throttles []Throttle
+	// RetryAfter is the pause until the next heartbeat.
+	RetryAfter clock.Millis
+	// LeaseGranted is false for a worker that may no longer run anything.
+	LeaseGranted bool
 }
 
 // ActionKind tells actions apart.
@@ -149,8 +149,8 @@
 	ActionMaintain ActionKind = iota
 	// ActionMove moves a machine to a pool; what runs on it ends.
 	ActionMove
-	// ActionList asks for the machines of all pools.
-	ActionList
+	// ActionListMachines asks for the machines of all pools.
+	ActionListMachines
 	// ActionAdvise asks which of Workers may run a step.
 	ActionAdvise
 )
@@ -163,9 +163,9 @@
 	Pool    jobs.PoolName
 	// Step is the first task of the step that Workers are named for, and Takes
 	// how long the answer is expected to take.
-	Step    jobs.Task
-	Workers []jobs.WorkerID
-	Takes   clock.Millis
+	Step             jobs.TaskID
+	Workers          []jobs.WorkerID
+	ExpectedDuration clock.Millis
 }
 
 // Machine is a machine as the platform lists it.
@@ -173,8 +173,8 @@
 	ID   jobs.MachineID
 	Pool jobs.PoolName
 	// Up is false while the machine moves, is maintained or is down.
-	Up   bool
-	Room jobs.Size
+	Up       bool
+	Capacity jobs.Resources
 }
 
 // Outcome is the platform's answer to an action.
@@ -204,6 +204,6 @@
 	Actions []Action
 	// Notes explain the decisions of the pass.
 	Notes []Note
-	// Wake is when the next pass is due if nothing happens before.
-	Wake clock.Millis
+	// NextPass is when the next pass is due if nothing happens before.
+	NextPass clock.Millis
 }
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -39,7 +39,7 @@
 }
 
 type absence struct {
-	life jobs.Life
+	life jobs.Incarnation
 	// from is when the order was given, or the term began.
 	from clock.Millis
 }
@@ -56,21 +56,21 @@
 	return v
 }
 
-// Declare accepts a wave. A number that is known is left as it is.
-func (b *Board[O, J]) Declare(w jobs.Wave, now clock.Millis) {
+// DeclareWave accepts a wave. A number that is known is left as it is.
+func (b *Scheduler[O, J]) DeclareWave(w jobs.Wave, now clock.Millis) {
 	if b.State.Waves[w.Number] != nil {
 		return
 	}
-	w.Declared = max(now, b.State.Time)
-	w.Deadline += w.Declared
-	w.Cap = max(w.Cap, 1)
-	b.apply(jobs.Op{Kind: jobs.OpWave, Number: w.Number, Wave: &w}, now)
+	w.DeclaredAt = max(now, b.State.Time)
+	w.Deadline += w.DeclaredAt
+	w.MaxDown = max(w.MaxDown, 1)
+	b.apply(jobs.Op{Kind: jobs.OpDeclareWave, WaveNumber: w.Number, Wave: &w}, now)
 	b.waves[w.Number] = newWave(b.State.Waves[w.Number])
 }
 
 // maintain orders the maintenance of machines of the waves, at most the cap of
 // each at a time, and keeps new work off the machines that come next.
-func (b *Board[O, J]) maintain(now clock.Millis) {
+func (b *Scheduler[O, J]) maintain(now clock.Millis) {
 	if now < b.upkeep {
 		return
 	}
@@ -78,7 +78,7 @@
 	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
 		v := b.waves[n]
 		b.returned(v, now)
-		if v.Completed() || now < b.began+b.set.QuietMillis {
+		if v.Completed() || now < b.began+b.set.TakeoverDelayMillis {
 			continue
 		}
 		b.advance(v, now)
@@ -88,16 +88,16 @@
 // returned forgets the absence of machines whose worker has a new life. One
 // without a known worker, such as a machine that is off, has none to come back;
 // the time that a maintenance takes bounds its absence.
-func (b *Board[O, J]) returned(v *wave, now clock.Millis) {
+func (b *Scheduler[O, J]) returned(v *wave, now clock.Millis) {
 	for m, a := range v.away {
 		if v.flying[m] {
 			continue
 		}
 		w := b.machines[m]
 		back := w != nil && a.life != 0 && w.life != a.life
-		most := 2 * b.set.DownMillis
+		most := 2 * b.set.MaintenanceMillis
 		if a.life != 0 {
-			most += b.set.DownMillis
+			most += b.set.MaintenanceMillis
 		}
 		if back || now >= max(a.from, b.began)+most {
 			delete(v.away, m)
@@ -108,7 +108,7 @@
 
 // stay gives tasks again to a worker whose machine was ordered away and is still
 // there after the time that this takes: the order was not carried out.
-func (b *Board[O, J]) stay(w *worker, life jobs.Life) {
+func (b *Scheduler[O, J]) stay(w *worker, life jobs.Incarnation) {
 	if w != nil && w.life == life && w.leaving {
 		w.leaving = false
 		b.dirty[b.pool(w.pool)] = true
@@ -118,10 +118,10 @@
 // advance gives the orders that the cap allows. No more machines are down at a
 // time than the deadline calls for, and those of pools without waiting work go
 // first, so that a wave takes little room while a pool needs it.
-func (b *Board[O, J]) advance(v *wave, now clock.Millis) {
+func (b *Scheduler[O, J]) advance(v *wave, now clock.Millis) {
 	var left []jobs.MachineID
 	for _, m := range v.Machines {
-		if !v.Begun[m] && !v.flying[m] {
+		if !v.Started[m] && !v.flying[m] {
 			left = append(left, m)
 		}
 	}
@@ -135,7 +135,7 @@
 		_, away := v.away[m]
 		switch {
 		case v.next[m] > now:
-		case away && len(v.away) > v.Cap:
+		case away && len(v.away) > v.MaxDown:
 			// An earlier leader ordered more than the cap, as some were refused.
 			// Which of them are down is not known until all must be back.
 		case away:
@@ -159,23 +159,23 @@
 
 // pace is the number of machines that have to be down at a time for the wave
 // to end in time.
-func (b *Board[O, J]) pace(v *wave, now clock.Millis) int {
-	left := clock.Millis(len(v.Machines) - len(v.Begun))
-	each := b.set.DownMillis + b.set.HoldMillis
+func (b *Scheduler[O, J]) pace(v *wave, now clock.Millis) int {
+	left := clock.Millis(len(v.Machines) - len(v.Started))
+	each := b.set.MaintenanceMillis + b.set.MaxHoldMillis
 	time := max(v.Deadline-marginMillis-now, each)
-	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.Cap)))
+	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.MaxDown)))
 }
 
 // burden orders machines for maintenance; small goes first: a machine without
 // a worker, then those of pools without waiting work that run little.
-func (b *Board[O, J]) burden(m jobs.MachineID) int {
+func (b *Scheduler[O, J]) burden(m jobs.MachineID) int {
 	w := b.machines[m]
 	if w == nil {
 		return -1
 	}
 	n := 0
 	for _, r := range w.runs {
-		if !r.step.Lasting {
+		if !r.step.LongRunning {
 			n++
 		}
 	}
@@ -197,7 +197,7 @@
 // clear reports whether a machine may go down now: what ends by itself has
 // ended, or the wave is short of time, and no lasting step loses more tasks
 // than it may.
-func (b *Board[O, J]) clear(v *wave, w *worker, now clock.Millis) bool {
+func (b *Scheduler[O, J]) clear(v *wave, w *worker, now clock.Millis) bool {
 	if w == nil {
 		return true
 	}
@@ -206,11 +206,11 @@
 	recs := map[groupKey]*jobs.Record{}
 	for t, r := range w.runs {
 		switch {
-		case !r.step.Lasting:
+		case !r.step.LongRunning:
 			if !late {
 				return false
 			}
-		case r.step.MayMiss > 0 && r.atWork():
+		case r.step.MaxUnavailable > 0 && r.atWork():
 			k := keyOf(t)
 			lost[k]++
 			recs[k] = r.rec
@@ -222,7 +222,7 @@
 			continue
 		}
 		missing := b.missing(rec, k)
-		if missing+n <= rec.Steps[k.step].MayMiss {
+		if missing+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
 		if missing == 0 && n > 1 {
@@ -235,7 +235,7 @@
 
 // thin stops one of several tasks of a lasting step on a worker, which together
 // are more than may be away, so that it starts on another worker first.
-func (b *Board[O, J]) thin(w *worker, k groupKey, n int) {
+func (b *Scheduler[O, J]) thin(w *worker, k groupKey, n int) {
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		if keyOf(id) == k && r.listed && !r.stopping {
@@ -249,7 +249,7 @@
 func (r *run) atWork() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
 // missing counts the tasks of a lasting step that are not at work.
-func (b *Board[O, J]) missing(rec *jobs.Record, k groupKey) int {
+func (b *Scheduler[O, J]) missing(rec *jobs.Record, k groupKey) int {
 	n := 0
 	for i, t := range rec.Occurrences[k.occurrence].Steps[k.step].Tasks {
 		w := b.workers[t.Worker]
@@ -267,15 +267,15 @@
 
 // late reports whether the rest of a wave does not fit the time left unless
 // running tasks are ended.
-func (b *Board[O, J]) late(v *wave, now clock.Millis) bool {
-	rounds := (len(v.Machines) - len(v.Begun) + v.Cap - 1) / v.Cap
-	return now+clock.Millis(rounds)*(b.set.DownMillis+b.set.HoldMillis) > v.Deadline
+func (b *Scheduler[O, J]) late(v *wave, now clock.Millis) bool {
+	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
+	return now+clock.Millis(rounds)*(b.set.MaintenanceMillis+b.set.MaxHoldMillis) > v.Deadline
 }
 
-func (b *Board[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
+func (b *Scheduler[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
 	v.repeated[m] = v.Ordered[m]
 	if !v.Ordered[m] {
-		b.apply(jobs.Op{Kind: jobs.OpOrdered, Number: v.Number, Machine: m}, now)
+		b.apply(jobs.Op{Kind: jobs.OpMaintenanceOrdered, WaveNumber: v.Number, Machine: m}, now)
 	}
 	a := absence{from: now}
 	if w != nil {
@@ -297,18 +297,18 @@
 
 // noteOrder explains an order: what ends with the machine, and how many tasks of
 // each lasting step are away beside them.
-func (b *Board[O, J]) noteOrder(v *wave, m jobs.MachineID, w *worker) {
+func (b *Scheduler[O, J]) noteOrder(v *wave, m jobs.MachineID, w *worker) {
 	reason := fmt.Sprintf("machine %s for wave %d, %d of it down or on their way", m, v.Number, len(v.away))
 	if w != nil {
 		for _, t := range sortedTasks(w.runs) {
 			r := w.runs[t]
-			if r.step.MayMiss > 0 {
+			if r.step.MaxUnavailable > 0 {
 				away := b.missing(r.rec, keyOf(t))
-				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MayMiss)
+				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MaxUnavailable)
 			}
 		}
 	}
-	b.noteFleet(DecisionMaintain, reason)
+	b.noteFleet(DecisionMaintenanceOrdered, reason)
 }
 
 // Answer is what the platform said to a maintenance order.
@@ -318,10 +318,10 @@
 const (
 	// AnswerDone: the machine goes down, or its maintenance had begun already.
 	AnswerDone Answer = iota
-	// AnswerLater: refused for now; nothing was done.
-	AnswerLater
-	// AnswerNever: the machine does not exist or is not part of the wave.
-	AnswerNever
+	// AnswerRefusedForNow: refused for now; nothing was done.
+	AnswerRefusedForNow
+	// AnswerRefusedForGood: the machine does not exist or is not part of the wave.
+	AnswerRefusedForGood
 	// AnswerUnknown: no answer; the order may have been carried out.
 	AnswerUnknown
 )
@@ -336,41 +336,41 @@
 	return platformAnswers[a]
 }
 
-// Acted takes the platform's answer to an action.
-func (b *Board[O, J]) Acted(a Action, o Outcome, now clock.Millis) {
+// HandleOutcome takes the platform's answer to an action.
+func (b *Scheduler[O, J]) HandleOutcome(a Action, o Outcome, now clock.Millis) {
 	switch a.Kind {
 	case ActionMaintain:
 		b.maintained(a, o, now)
 	case ActionMove:
 		b.moved(a, o, now)
-	case ActionList:
+	case ActionListMachines:
 		b.machinesListed(o, now)
 	case ActionAdvise:
 		b.answered(a, o, now)
 	}
 }
 
-func (b *Board[O, J]) maintained(o Action, out Outcome, now clock.Millis) {
+func (b *Scheduler[O, J]) maintained(o Action, out Outcome, now clock.Millis) {
 	v := b.waves[o.Wave]
 	if v == nil {
 		return
 	}
 	delete(v.flying, o.Machine)
-	b.noteFleet(DecisionMaintained, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
+	b.noteFleet(DecisionMaintenanceAnswered, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
 	switch out.Answer {
 	case AnswerDone:
-		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
+		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
 		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
 		if w := b.machines[o.Machine]; w != nil && w.life == v.away[o.Machine].life && !v.repeated[o.Machine] {
 			b.remove(w, "its machine is maintained", now)
 		}
-	case AnswerNever:
-		b.apply(jobs.Op{Kind: jobs.OpBegun, Number: o.Wave, Machine: o.Machine}, now)
+	case AnswerRefusedForGood:
+		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
 		delete(v.away, o.Machine)
 		if w := b.machines[o.Machine]; w != nil {
 			w.held, w.leaving = false, false
 		}
-	case AnswerLater:
+	case AnswerRefusedForNow:
 		if v.refused[o.Machine]++; v.refused[o.Machine] == refusalsToList {
 			// The machine may be gone for good; the list of machines tells.
 			b.fleet.asked = 0
@@ -391,26 +391,26 @@
 
 // dropMissing takes machines that do not exist any more off the waves: none of
 // them stays to be maintained.
-func (b *Board[O, J]) dropMissing(listed map[jobs.MachineID]bool, now clock.Millis) {
+func (b *Scheduler[O, J]) dropMissing(listed map[jobs.MachineID]bool, now clock.Millis) {
 	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
 		v := b.waves[n]
 		clear(v.refused)
 		for _, m := range v.Machines {
-			if v.Begun[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
+			if v.Started[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
 				continue
 			}
-			b.apply(jobs.Op{Kind: jobs.OpBegun, Number: v.Number, Machine: m}, now)
+			b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: v.Number, Machine: m}, now)
 			delete(v.away, m)
-			b.noteFleet(DecisionNoMachine, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
+			b.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
 		}
 	}
 }
 
 // maintenanceDue is when the waves have to be looked at again.
-func (b *Board[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
+func (b *Scheduler[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range b.waves {
 		if !v.Completed() {
-			return max(b.upkeep, b.began+b.set.QuietMillis), true
+			return max(b.upkeep, b.began+b.set.TakeoverDelayMillis), true
 		}
 	}
 	return 0, false
--- a/core/state/sched/world_test.go
+++ b/core/state/sched/world_test.go
@@ -19,7 +19,7 @@
 	worldAttempts              = 3
 )
 
-type testBoard = Board[EarliestObjective, place.Peers]
+type testBoard = Scheduler[EarliestDeadline, place.PeerComparison]
 
 // leader is a process that leads or believes to. Its board is ahead of the
 // committed state until its operations are committed.
@@ -34,22 +34,22 @@
 // everything ends with the lease.
 type instance struct {
 	id      jobs.WorkerID
-	life    jobs.Life
+	life    jobs.Incarnation
 	machine jobs.MachineID
 	seq     int64
 	token   uint64
 	until   clock.Millis
-	runs    map[jobs.Task]*simRun
+	runs    map[jobs.TaskID]*simRun
 	// closed holds the highest run that was stopped or has ended, by task.
-	closed map[jobs.Task]int
-	ends   []End
+	closed map[jobs.TaskID]int
+	ends   []RunEnd
 	number int64
 	// taker is the leader that took the heartbeat which waits.
 	taker *leader
 	// sent is the time of the heartbeat that waits for its answer; 0 for none.
 	sent clock.Millis
 	next clock.Millis
-	room jobs.Size
+	room jobs.Resources
 	down bool
 	// bad workers fail everything, and stuck ones make no progress.
 	bad, stuck bool
@@ -78,7 +78,7 @@
 
 // failedRun names a run by the task, or the first task of the gang.
 type failedRun struct {
-	task jobs.Task
+	task jobs.TaskID
 	run  int
 }
 
@@ -94,12 +94,12 @@
 	workers []*instance
 	answers []answer
 	// done holds the tasks with a noted good end.
-	done  map[jobs.Task]bool
-	fails map[jobs.Task]int
+	done  map[jobs.TaskID]bool
+	fails map[jobs.TaskID]int
 	// failed holds the runs that count in fails.
 	failed map[failedRun]bool
 	jobs   int
-	born   jobs.Life
+	born   jobs.Incarnation
 	set    Settings
 	err    error
 	// calm turns all troubles off.
@@ -108,13 +108,13 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
-		r: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.Task]bool{},
-		fails: map[jobs.Task]int{}, failed: map[failedRun]bool{}, born: 1, set: Defaults(),
+		r: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
+		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, born: 1, set: Defaults(),
 	}
-	w.set.SurgeMillis = 0
+	w.set.BacklogTargetMillis = 0
 	w.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
-		Version: 1, Pools: []jobs.Pool{{Name: "p", Guarded: true}},
-		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", Attempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
+		Version: 1, Pools: []jobs.Pool{{Name: "p", AdmissionControl: true}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
 	}}}, w.now)
 	for n := range 4 {
 		w.workers = append(w.workers, w.newInstance(n))
@@ -127,7 +127,7 @@
 	w.born++
 	return &instance{
 		id: jobs.WorkerID(fmt.Sprint("w", n)), life: w.born, machine: jobs.MachineID(fmt.Sprint("m", n)),
-		runs: map[jobs.Task]*simRun{}, closed: map[jobs.Task]int{}, room: jobs.Size{MilliCores: 4000, MemoryMiB: 4000},
+		runs: map[jobs.TaskID]*simRun{}, closed: map[jobs.TaskID]int{}, room: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 		bad: !w.calm && w.r.IntN(20) == 0, stuck: !w.calm && w.r.IntN(30) == 0,
 	}
 }
@@ -138,7 +138,7 @@
 	w.token++
 	w.stale = w.lead
 	w.lead = &leader{
-		board: NewBoard(w.set, EarliestObjective{}, place.Peers{Least: 3}, w.committed.Clone(), w.now),
+		board: New(w.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
 		token: w.token, confirmed: w.now,
 	}
 }
@@ -176,23 +176,23 @@
 func (w *world) submit() {
 	w.jobs++
 	j := jobs.Job{
-		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", Attempts: worldAttempts, Target: 3000, StretchPermille: 1500,
+		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
-			{Count: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
-			{Count: 1 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, After: []int{0}, Saves: true},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
+			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
 		},
 	}
 	if w.r.IntN(6) == 0 {
-		j.Steps = []jobs.Step{{Count: 3, Need: jobs.Size{MilliCores: 500, MemoryMiB: 100}, Lasting: true, MayMiss: 1}}
+		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}}
 	}
 	if w.r.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
-			Count: 2 + w.r.IntN(3), Need: jobs.Size{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Saves: true,
+			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
 			SameRack: w.r.IntN(2) == 0,
 		}
 	}
 	if w.r.IntN(6) == 0 {
-		j.Times, j.First, j.Interval = 2, w.now+clock.Millis(w.r.IntN(2000)), 500
+		j.OccurrenceCount, j.FirstDue, j.Interval = 2, w.now+clock.Millis(w.r.IntN(2000)), 500
 	}
 	w.lead.board.Submit(j, w.now)
 	// A submitter sends again what it got no answer for.
@@ -233,7 +233,7 @@
 	}
 	for _, o := range p.Orders {
 		for _, x := range w.workers {
-			if x.id != o.Worker || x.life != o.Life || x.taker != l || x.sent == 0 {
+			if x.id != o.Worker || x.life != o.Incarnation || x.taker != l || x.sent == 0 {
 				continue
 			}
 			hold := w.set.LeaseMillis - max(0, x.sent-l.confirmed)
@@ -262,24 +262,24 @@
 // noteEnd counts what an end means for the task, or for all tasks of its gang.
 func (w *world) noteEnd(o jobs.Op) {
 	step := &w.committed.Jobs[o.Task.Job].Steps[o.Task.Step]
-	if step.Lasting {
+	if step.LongRunning {
 		return
 	}
-	of := []jobs.Task{o.Task}
+	of := []jobs.TaskID{o.Task}
 	if step.Gang {
 		of = of[:0]
-		for n := range step.Count {
-			of = append(of, jobs.Task{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
+		for n := range step.TaskCount {
+			of = append(of, jobs.TaskID{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
 		}
 	}
 	failed := failedRun{of[0], o.Run}
 	for _, t := range of {
-		w.done[t] = w.done[t] || o.How == jobs.HowDone
-		if o.How == jobs.HowFailed && !w.failed[failed] {
+		w.done[t] = w.done[t] || o.Result == jobs.ResultDone
+		if o.Result == jobs.ResultFailed && !w.failed[failed] {
 			w.fails[t]++
 		}
 	}
-	w.failed[failed] = w.failed[failed] || o.How == jobs.HowFailed
+	w.failed[failed] = w.failed[failed] || o.Result == jobs.ResultFailed
 }
 
 // deliver hands answers to workers; those that come after a second are
@@ -299,18 +299,18 @@
 
 func (w *world) obey(a answer) {
 	x := a.to
-	x.sent, x.next = 0, w.now+a.orders.Retry
+	x.sent, x.next = 0, w.now+a.orders.RetryAfter
 	if a.token < x.token {
 		return
 	}
 	x.token = a.token
 	// The worker's clock runs 2% slow.
 	x.until = max(x.until, a.sent+a.hold+a.hold/50)
-	x.ends = slices.DeleteFunc(x.ends, func(e End) bool { return e.Number <= a.orders.AckUpTo })
+	x.ends = slices.DeleteFunc(x.ends, func(e RunEnd) bool { return e.Number <= a.orders.AckUpTo })
 	for _, s := range a.orders.Stops {
 		x.closed[s.Task] = max(x.closed[s.Task], s.Run)
 		if r := x.runs[s.Task]; r != nil && r.run == s.Run {
-			x.end(s.Task, r, jobs.HowStopped)
+			x.end(s.Task, r, jobs.ResultStopped)
 		}
 	}
 	for _, s := range a.orders.Starts {
@@ -318,9 +318,9 @@
 	}
 }
 
-func (x *instance) end(t jobs.Task, r *simRun, how jobs.How) {
+func (x *instance) end(t jobs.TaskID, r *simRun, how jobs.Result) {
 	x.number++
-	x.ends = append(x.ends, End{Number: x.number, Task: t, Run: r.run, How: how, Saved: fmt.Sprint("s", r.run, "-", t.Index)})
+	x.ends = append(x.ends, RunEnd{Number: x.number, Task: t, Run: r.run, Result: how, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
 	x.closed[t] = max(x.closed[t], r.run)
 	delete(x.runs, t)
 }
@@ -329,18 +329,18 @@
 	if r := x.runs[s.Task]; r != nil && r.run == s.Run {
 		return
 	}
-	used := jobs.Size{}
+	used := jobs.Resources{}
 	for t := range x.runs {
-		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Need)
+		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
-	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Need
+	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
 	if s.Run <= x.closed[s.Task] || !need.Fits(x.room.Minus(used)) {
-		x.end(s.Task, &simRun{run: s.Run}, jobs.HowRefused)
+		x.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
 		return
 	}
 	w.checkStart(x, s)
 	takes := clock.Millis(100 + w.r.IntN(900))
-	x.runs[s.Task] = &simRun{run: s.Run, began: w.now, takes: takes, fails: x.bad || w.r.IntN(25) == 0, saved: s.Saved}
+	x.runs[s.Task] = &simRun{run: s.Run, began: w.now, takes: takes, fails: x.bad || w.r.IntN(25) == 0, saved: s.Checkpoint}
 	w.checkGang(x, s)
 }
 
@@ -355,8 +355,8 @@
 			if t.Job != s.Task.Job || t.Occurrence != s.Task.Occurrence || t.Step != s.Task.Step {
 				continue
 			}
-			if r.run == s.Run && r.saved != s.Saved {
-				w.failf("task %v starts from %q and %v of its gang from %q", s.Task, s.Saved, t, r.saved)
+			if r.run == s.Run && r.saved != s.Checkpoint {
+				w.failf("task %v starts from %q and %v of its gang from %q", s.Task, s.Checkpoint, t, r.saved)
 			}
 			if r.run > s.Run {
 				w.failf("task %v starts run %d on %s beside run %d of %v", s.Task, s.Run, x.id, r.run, t)
@@ -377,19 +377,19 @@
 	for _, x := range w.workers {
 		for t, r := range x.runs {
 			step := &w.committed.Jobs[t.Job].Steps[t.Step]
-			all := present[gangRun(t, r)] == step.Count
+			all := present[gangRun(t, r)] == step.TaskCount
 			switch {
 			case !step.Gang:
 			case all && !r.formed:
 				r.formed, r.began = true, w.now
 			case !all && (r.formed || w.now-r.began > gangTimeout):
-				x.end(t, r, jobs.HowStopped)
+				x.end(t, r, jobs.ResultStopped)
 			}
 		}
 	}
 }
 
-func gangRun(t jobs.Task, r *simRun) failedRun {
+func gangRun(t jobs.TaskID, r *simRun) failedRun {
 	t.Index = 0
 	return failedRun{t, r.run}
 }
@@ -413,20 +413,20 @@
 func (w *world) play(_ int, x *instance) {
 	if w.now >= x.until {
 		for t, r := range x.runs {
-			x.end(t, r, jobs.HowLapsed)
+			x.end(t, r, jobs.ResultExpired)
 		}
 	}
 	ended := false
 	for t, r := range x.runs {
 		step := &w.committed.Jobs[t.Job].Steps[t.Step]
-		if step.Lasting || (step.Gang && !r.formed) || x.stuck || w.now-r.began < r.takes {
+		if step.LongRunning || (step.Gang && !r.formed) || x.stuck || w.now-r.began < r.takes {
 			continue
 		}
-		how := jobs.HowDone
+		how := jobs.ResultDone
 		if r.fails {
-			how = jobs.HowFailed
+			how = jobs.ResultFailed
 		}
-		if step.Gang && how == jobs.HowDone {
+		if step.Gang && how == jobs.ResultDone {
 			w.endGang(t, r)
 		} else {
 			x.end(t, r, how)
@@ -445,12 +445,12 @@
 }
 
 // endGang ends all tasks of a gang well.
-func (w *world) endGang(of jobs.Task, r *simRun) {
+func (w *world) endGang(of jobs.TaskID, r *simRun) {
 	key := gangRun(of, r)
 	for _, x := range w.workers {
 		for t, y := range x.runs {
 			if gangRun(t, y) == key {
-				x.end(t, y, jobs.HowDone)
+				x.end(t, y, jobs.ResultDone)
 			}
 		}
 	}
@@ -459,17 +459,17 @@
 func (w *world) beat(x *instance) {
 	x.seq++
 	x.sent = w.now
-	h := Beat{
-		Worker: x.id, Life: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Room: x.room,
-		Draining: x.draining, Ends: slices.Clone(x.ends), Received: w.now,
+	h := Heartbeat{
+		Worker: x.id, Incarnation: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.room,
+		Draining: x.draining, Ends: slices.Clone(x.ends), ReceivedAt: w.now,
 	}
 	for t, r := range x.runs {
 		percent := int(100 * (w.now - r.began) / r.takes)
 		if x.stuck {
 			percent = 0
 		}
-		h.Running = append(h.Running, Running{Task: t, Run: r.run, Percent: min(percent, 99), Saved: fmt.Sprint("s", r.run, "-", t.Index)})
-		if w.committed.Jobs[t.Job].Steps[t.Step].Lasting {
+		h.Running = append(h.Running, RunStatus{Task: t, Run: r.run, Percent: min(percent, 99), Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+		if w.committed.Jobs[t.Job].Steps[t.Step].LongRunning {
 			h.Running[len(h.Running)-1].Percent = 100
 		}
 	}
@@ -478,18 +478,18 @@
 		l = w.stale
 	}
 	x.taker = nil
-	if l.board.Beat(h, w.now) {
+	if l.board.Heartbeat(h, w.now) {
 		x.taker = l
 	}
 	if !w.calm && w.r.IntN(50) == 0 {
 		// A heartbeat may come twice or late.
-		l.board.Beat(h, w.now)
+		l.board.Heartbeat(h, w.now)
 	}
 }
 
 // check looks for tasks that run twice at a time on workers that are up.
 func (w *world) check() {
-	seen := map[jobs.Task]*instance{}
+	seen := map[jobs.TaskID]*instance{}
 	for _, x := range w.workers {
 		for t := range x.runs {
 			if y := seen[t]; y != nil {
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -59,7 +59,7 @@
 	}
 	// lose removes entry 9 after it was recorded as committed.
 	lose := func(t *testing.T, dir string) {
-		s, err := open(dir, store.Disk{}, 100)
+		s, err := open(dir, store.OSFileSystem{}, 100)
 		assert.NilError(t, err)
 		assert.NilError(t, s.Save(&raft.HardState{Term: 1, Vote: 2, Commit: 9}, nil))
 		assert.NilError(t, s.Close())
@@ -99,7 +99,7 @@
 		{"snapshot short", cut(snap, 3), 0, store.KindCorrupt, snap},
 	}
 	origin := filepath.Join(t.TempDir(), "data")
-	s, err := open(origin, store.Disk{}, 100)
+	s, err := open(origin, store.OSFileSystem{}, 100)
 	assert.NilError(t, err)
 	id, hard := s.Stored().Self.ID, raft.HardState{Term: 1, Vote: 2, Commit: 8}
 	fill(t, s, 1, 11)
@@ -111,7 +111,7 @@
 			dir := filepath.Join(t.TempDir(), "copy")
 			assert.NilError(t, os.CopyFS(dir, os.DirFS(origin)))
 			c.damage(t, dir)
-			s, err := open(dir, store.Disk{}, 100)
+			s, err := open(dir, store.OSFileSystem{}, 100)
 			if c.last == 0 {
 				isKind(t, err, c.kind)
 				assert.ErrorContains(t, err, c.text)
@@ -132,13 +132,13 @@
 // TestLock guards against two processes on one folder.
 func TestLock(t *testing.T) {
 	dir := t.TempDir()
-	s, err := open(dir, store.Disk{}, 0)
+	s, err := open(dir, store.OSFileSystem{}, 0)
 	assert.NilError(t, err)
-	_, err = open(dir, store.Disk{}, 0)
+	_, err = open(dir, store.OSFileSystem{}, 0)
 	isKind(t, err, store.KindLocked)
 	assert.NilError(t, s.Close())
 	isKind(t, s.Save(nil, nil), store.KindClosed)
-	s, err = open(dir, store.Disk{}, 0)
+	s, err = open(dir, store.OSFileSystem{}, 0)
 	assert.NilError(t, err)
 	assert.NilError(t, s.Close())
 }
@@ -153,7 +153,7 @@
 	fill(t, s, 1, 2)
 	long := []raft.Entry{{Index: 3, Term: 1, Data: make([]byte, 500)}}
 	disk.countdown, disk.failure = 2, syscall.ENOSPC
-	isKind(t, s.Save(nil, long), store.KindFull)
+	isKind(t, s.Save(nil, long), store.KindDiskFull)
 	fill(t, s, 3, 3)
 	file := disk.names[filepath.Join("d", first)]
 	assert.Equal(t, len(file.data), 3*28)
@@ -174,11 +174,11 @@
 	fill(t, s, 1, 4)
 	assert.NilError(t, s.Save(&raft.HardState{Term: 2, Commit: 3}, nil))
 	for _, batch := range [][]raft.Entry{{{Index: 6}}, {{Index: 3}}, {{Index: 4}, {Index: 6}}} {
-		isKind(t, s.Save(nil, batch), store.KindOrder)
+		isKind(t, s.Save(nil, batch), store.KindOutOfOrder)
 	}
-	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOrder)
-	isKind(t, s.Snapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOrder)
-	isKind(t, s.Install(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOrder)
+	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOutOfOrder)
+	isKind(t, s.Snapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOutOfOrder)
+	isKind(t, s.Install(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOutOfOrder)
 	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")))
 	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")), "a repeated call")
 	assert.NilError(t, s.Save(nil, []raft.Entry{{Index: 10, Term: 2}}))
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -14,8 +14,8 @@
 // KindLocked when another process uses the folder, KindCorrupt and KindGap
 // when data is damaged or missing, and KindNoMeta when there is data without
 // an identity: a new identity there would vote as a second member.
-func Open[C EntryCodec, F Files](dir string, opts Options[C, F]) (*Store[C, F], error) {
-	s := &Store[C, F]{dir: dir, codec: opts.Codec, files: opts.Files, segmentBytes: opts.SegmentBytes}
+func Open[C EntryCodec, F FileSystem](dir string, opts Options[C, F]) (*Store[C, F], error) {
+	s := &Store[C, F]{dir: dir, codec: opts.Codec, files: opts.FileSystem, segmentBytes: opts.SegmentBytes}
 	if s.segmentBytes <= 0 {
 		s.segmentBytes = DefaultSegmentBytes
 	}
@@ -68,7 +68,7 @@
 	}
 	s.commit = max(s.hard.Commit, s.snap.Index)
 	self.ID = s.id
-	s.stored = raft.Stored{Self: self, Hard: s.hard, Snapshot: s.snap, Entries: log}
+	s.stored = raft.StoredState{Self: self, Hard: s.hard, Snapshot: s.snap, Entries: log}
 	s.stored.Hard.Commit = s.commit
 	return nil
 }
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -13,9 +13,9 @@
 const DefaultSegmentBytes = 4 << 20
 
 // Options configures a store.
-type Options[C EntryCodec, F Files] struct {
-	Codec C
-	Files F
+type Options[C EntryCodec, F FileSystem] struct {
+	Codec      C
+	FileSystem F
 	// Self holds the settings of this member; its identity comes from the
 	// folder.
 	Self raft.Member
@@ -26,7 +26,7 @@
 
 // Store is the open data folder of a control member. It belongs to one duty:
 // its methods must not be called concurrently.
-type Store[C EntryCodec, F Files] struct {
+type Store[C EntryCodec, F FileSystem] struct {
 	dir          string
 	codec        C
 	files        F
@@ -50,13 +50,13 @@
 	// unknown is set after a failed sync.
 	torn, unknown bool
 	buf           []byte
-	stored        raft.Stored
+	stored        raft.StoredState
 	closed        bool
 }
 
 // Stored returns what Open found. The entries are kept until the first Save
 // only.
-func (s *Store[C, F]) Stored() raft.Stored { return s.stored }
+func (s *Store[C, F]) Stored() raft.StoredState { return s.stored }
 
 // Save makes a hard state and entries durable; hard may be nil and entries
 // empty. The entries replace all stored entries from entries[0].Index on. A
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -17,8 +17,8 @@
 
 var members = []raft.Member{{ID: 7, Name: "c1", Zone: "z", Address: "127.0.0.1:1", Voter: true}}
 
-func open[F store.Files](dir string, files F, size int64) (*store.Store[codec.Codec, F], error) {
-	return store.Open(dir, store.Options[codec.Codec, F]{Files: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
+func open[F store.FileSystem](dir string, files F, size int64) (*store.Store[codec.Codec, F], error) {
+	return store.Open(dir, store.Options[codec.Codec, F]{FileSystem: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
 }
 
 // isKind fails when an error is not the package's own or of another kind.
@@ -108,7 +108,7 @@
 	return true
 }
 
-func (r *run) reopen(t *rapid.T) raft.Stored {
+func (r *run) reopen(t *rapid.T) raft.StoredState {
 	s, err := open("d", r.disk, 200)
 	assert.NilError(t, err)
 	r.s = s
@@ -125,7 +125,7 @@
 
 // check compares the recovered state with the one before a call that failed
 // and the one after it; both are the same when no call failed.
-func (r *run) check(t *rapid.T, got raft.Stored, after step) {
+func (r *run) check(t *rapid.T, got raft.StoredState, after step) {
 	same := func(a, b []raft.Entry) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 	n := len(got.Entries)
 	if after.loose {
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -7,17 +7,17 @@
 
 // The actions.
 const (
-	ActionRaiseLimit    Action = "raise-limit"
-	ActionApplyContract Action = "apply-contract"
-	ActionAddPool       Action = "add-pool-to-contract"
-	ActionMoreTime      Action = "allow-more-time"
-	ActionAddInstances  Action = "add-instances"
-	ActionStartUpstream Action = "start-upstream"
-	ActionRepair        Action = "repair-upstream"
-	ActionProcess       Action = "restart-process-or-declare-lost"
-	ActionPlatform      Action = "check-platform"
-	ActionWait          Action = "wait"
-	ActionInspect       Action = "inspect"
+	ActionRaiseLimit     Action = "raise-limit"
+	ActionApplyContract  Action = "apply-contract"
+	ActionAddPool        Action = "add-pool-to-contract"
+	ActionAllowMoreTime  Action = "allow-more-time"
+	ActionAddInstances   Action = "add-instances"
+	ActionStartUpstream  Action = "start-upstream"
+	ActionRepairUpstream Action = "repair-upstream"
+	ActionRestartProcess Action = "restart-process-or-declare-lost"
+	ActionCheckPlatform  Action = "check-platform"
+	ActionWait           Action = "wait"
+	ActionInspect        Action = "inspect"
 )
 
 // Advice is an action and the name of what it acts on: a limit, a pool, a
@@ -46,14 +46,14 @@
 	"pool not in contract":   {ActionAddPool, "contract"},
 	"no share":               {ActionRaiseLimit, "concurrency"},
 	"queue full":             {ActionRaiseLimit, "queue"},
-	"deadline cannot be met": {ActionMoreTime, "timeout"},
+	"deadline cannot be met": {ActionAllowMoreTime, "timeout"},
 	"retry budget spent":     {ActionRaiseLimit, "retry-percent"},
 
-	"deadline": {ActionMoreTime, "timeout"},
+	"deadline": {ActionAllowMoreTime, "timeout"},
 	"capacity": {ActionAddInstances, "pool"},
 	"lease":    {ActionStartUpstream, "instance"},
-	"failures": {ActionRepair, "instance"},
-	"drained":  {ActionProcess, "process"},
+	"failures": {ActionRepairUpstream, "instance"},
+	"drained":  {ActionRestartProcess, "process"},
 }
 
 // adviceFor returns what would unblock a limit. A limit that is not in the
@@ -67,9 +67,9 @@
 
 // confirmAdvice tells a process that still has requests in flight from one
 // that is silent.
-func confirmAdvice(o Objects, p Process) Advice {
-	if p.Seen == 0 || o.Now-p.Seen > SilentAfter {
-		return Advice{ActionProcess, string(p.Name)}
+func confirmAdvice(o CurrentState, p Process) Advice {
+	if p.LastReport == 0 || o.Now-p.LastReport > ReportTimeout {
+		return Advice{ActionRestartProcess, string(p.Name)}
 	}
 	return Advice{ActionWait, string(p.Name)}
 }
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// MaxHappened bounds the events of an explanation; the newest are kept.
-	MaxHappened = 200
-	// SilentAfter is the time without a report after which a process is taken
+	// MaxEvents bounds the events of an explanation; the newest are kept.
+	MaxEvents = 200
+	// ReportTimeout is the time without a report after which a process is taken
 	// for silent; processes report once in a second.
-	SilentAfter = 3 * clock.Second
+	ReportTimeout = 3 * clock.Second
 )
 
 // Subject is the kind of object that is explained.
@@ -31,15 +31,15 @@
 	Name    model.Process
 	Zone    model.Zone
 	Version model.Version
-	// Drained is the version up to which the process has carried out every
+	// DrainedVersion is the version up to which the process has carried out every
 	// release.
-	Drained model.Version
-	// Seen is the time of its last report; 0 for never.
-	Seen clock.Millis
+	DrainedVersion model.Version
+	// LastReport is the time of its last report; 0 for never.
+	LastReport clock.Millis
 }
 
-// Objects is the present state that explanations refer to.
-type Objects struct {
+// CurrentState is the present state that explanations refer to.
+type CurrentState struct {
 	Now         clock.Millis
 	Contracts   map[model.Customer]model.Contract
 	Instances   map[model.InstanceID]model.Instance
@@ -55,23 +55,23 @@
 	Subject Subject
 	Name    string
 	Now     clock.Millis
-	// Known is false when neither the objects nor the events mention the
+	// Found is false when neither the objects nor the events mention the
 	// subject.
-	Known bool
+	Found bool
 	// Contract and Pools are set for a customer, Instance for an instance.
 	Contract model.Contract
 	Pools    []PoolState
 	Instance model.Instance
-	// Happened lists the events of the subject itself, oldest first; Omitted
+	// Events lists the events of the subject itself, oldest first; Omitted
 	// counts the older ones left out.
-	Happened []model.Event
-	Omitted  int
-	// Context lists the events of the same instances around a request.
-	Context []model.Event
-	// Bounds lists the limits that bound, the most recent first.
-	Bounds []Bound
-	// Blocks lists what stands in the way now.
-	Blocks []Block
+	Events        []model.Event
+	OmittedEvents int
+	// RelatedEvents lists the events of the same instances around a request.
+	RelatedEvents []model.Event
+	// LimitHits lists the limits that bound, the most recent first.
+	LimitHits []LimitHit
+	// Obstacles lists what stands in the way now.
+	Obstacles []Obstacle
 }
 
 // PoolState compares what a contract promises in a pool with what is there.
@@ -85,8 +85,8 @@
 	Maintenance int
 }
 
-// Bound sums up the events in which one limit bound.
-type Bound struct {
+// LimitHit sums up the events in which one limit bound.
+type LimitHit struct {
 	Limit string
 	Kind  model.EventKind
 	Count int
@@ -97,32 +97,32 @@
 	Advice Advice
 }
 
-// BlockKind tells the obstacles apart.
-type BlockKind string
+// ObstacleKind tells the obstacles apart.
+type ObstacleKind string
 
 // The kinds of obstacle.
 const (
-	// BlockConfirm: an entry process has not confirmed a release.
-	BlockConfirm BlockKind = "release-not-confirmed"
-	// BlockReturn: the instance has not come back from the platform.
-	BlockReturn BlockKind = "not-returned"
-	// BlockBudget: a customer's limit of unavailable instances is reached.
-	BlockBudget BlockKind = "disruption-limit"
-	// BlockWave: declared maintenance has not reached the instance.
-	BlockWave BlockKind = "maintenance-due"
-	// BlockGone: the instance was last reported as gone.
-	BlockGone BlockKind = "not-announced"
-	// BlockEjected: the instance was last ejected for failures.
-	BlockEjected BlockKind = "ejected"
-	// BlockCapacity: fewer instances serve than are promised.
-	BlockCapacity BlockKind = "capacity-missing"
-	// BlockContract: there is no contract.
-	BlockContract BlockKind = "no-contract"
+	// ObstacleReleaseUnconfirmed: an entry process has not confirmed a release.
+	ObstacleReleaseUnconfirmed ObstacleKind = "release-not-confirmed"
+	// ObstacleNotReturned: the instance has not come back from the platform.
+	ObstacleNotReturned ObstacleKind = "not-returned"
+	// ObstacleDisruptionLimit: a customer's limit of unavailable instances is reached.
+	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
+	// ObstacleMaintenanceDue: declared maintenance has not reached the instance.
+	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
+	// ObstacleNotAnnounced: the instance was last reported as gone.
+	ObstacleNotAnnounced ObstacleKind = "not-announced"
+	// ObstacleEjected: the instance was last ejected for failures.
+	ObstacleEjected ObstacleKind = "ejected"
+	// ObstacleCapacityMissing: fewer instances serve than are promised.
+	ObstacleCapacityMissing ObstacleKind = "capacity-missing"
+	// ObstacleNoContract: there is no contract.
+	ObstacleNoContract ObstacleKind = "no-contract"
 )
 
-// Block is one obstacle. Empty fields do not apply.
-type Block struct {
-	Kind        BlockKind
+// Obstacle is one obstacle. Empty fields do not apply.
+type Obstacle struct {
+	Kind        ObstacleKind
 	Instance    model.InstanceID
 	Pool        model.Pool
 	Process     model.Process
@@ -150,26 +150,26 @@
 		if !match(e) {
 			continue
 		}
-		x.Happened = append(x.Happened, e)
+		x.Events = append(x.Events, e)
 		if e.Limit == "" {
 			continue
 		}
 		k := key{e.Limit, e.Kind}
 		i, ok := at[k]
 		if !ok {
-			i = len(x.Bounds)
+			i = len(x.LimitHits)
 			at[k] = i
-			x.Bounds = append(x.Bounds, Bound{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
+			x.LimitHits = append(x.LimitHits, LimitHit{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
 		}
-		b := &x.Bounds[i]
+		b := &x.LimitHits[i]
 		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
 	}
-	x.Known = x.Known || len(x.Happened) > 0
-	if over := len(x.Happened) - MaxHappened; over > 0 {
-		x.Omitted = over
-		x.Happened = slices.Clone(x.Happened[over:])
+	x.Found = x.Found || len(x.Events) > 0
+	if over := len(x.Events) - MaxEvents; over > 0 {
+		x.OmittedEvents = over
+		x.Events = slices.Clone(x.Events[over:])
 	}
-	slices.SortStableFunc(x.Bounds, func(a, b Bound) int {
+	slices.SortStableFunc(x.LimitHits, func(a, b LimitHit) int {
 		return cmp.Or(cmp.Compare(b.Last.Wall, a.Last.Wall), cmp.Compare(b.Last.Count, a.Last.Count))
 	})
 }
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -12,30 +12,30 @@
 
 const now = clock.Millis(100_000)
 
-func objects() trail.Objects {
+func objects() trail.CurrentState {
 	instances := map[model.InstanceID]model.Instance{}
 	for _, i := range []model.Instance{
 		{ID: "i1", Zone: "a", Pool: "log", Phase: model.PhaseServing},
-		{ID: "i2", Zone: "a", Pool: "log", Target: "fees", Phase: model.PhaseReleasing, Version: 40, Since: 90_000},
-		{ID: "i3", Zone: "b", Pool: "log", Target: "log", Phase: model.PhaseMaintenance, Since: 80_000},
-		{ID: "i5", Zone: "a", Pool: "fees", Phase: model.PhaseServing, Maintained: 70_000},
+		{ID: "i2", Zone: "a", Pool: "log", Target: "fees", Phase: model.PhaseReleasing, Version: 40, PhaseSince: 90_000},
+		{ID: "i3", Zone: "b", Pool: "log", Target: "log", Phase: model.PhaseMaintenance, PhaseSince: 80_000},
+		{ID: "i5", Zone: "a", Pool: "fees", Phase: model.PhaseServing, MaintainedAt: 70_000},
 		{ID: "i4", Zone: "b", Pool: "log", Phase: model.PhaseServing},
 	} {
 		instances[i.ID] = i
 	}
-	return trail.Objects{
+	return trail.CurrentState{
 		Now: now, Instances: instances,
 		Contracts: map[model.Customer]model.Contract{
 			"pomar": {Customer: "pomar", Pools: []model.PoolShare{{Pool: "log", Instances: 4}}, MaxUnavailable: 2},
 		},
 		Maintenance: map[string]model.Maintenance{
-			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, Declared: 70_000, Deadline: 200_000},
+			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, DeclaredAt: 70_000, Deadline: 200_000},
 		},
 		Processes: []trail.Process{
-			{Name: "e1", Zone: "a", Drained: 39, Seen: now - clock.Second},
-			{Name: "e2", Zone: "a", Drained: 10, Seen: 50_000},
-			{Name: "e3", Zone: "a", Drained: 40, Seen: now},
-			{Name: "e4", Zone: "b", Drained: 0, Seen: now},
+			{Name: "e1", Zone: "a", DrainedVersion: 39, LastReport: now - clock.Second},
+			{Name: "e2", Zone: "a", DrainedVersion: 10, LastReport: 50_000},
+			{Name: "e3", Zone: "a", DrainedVersion: 40, LastReport: now},
+			{Name: "e4", Zone: "b", DrainedVersion: 0, LastReport: now},
 		},
 	}
 }
@@ -60,72 +60,72 @@
 // explanation of a customer leaves out or takes from another customer.
 func TestExplainCustomer(t *testing.T) {
 	x := trail.ExplainCustomer(objects(), events(), "pomar")
-	assert.Assert(t, x.Known)
+	assert.Assert(t, x.Found)
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
-	assert.Equal(t, len(x.Happened), 3)
-	assert.DeepEqual(t, x.Bounds, []trail.Bound{{
+	assert.Equal(t, len(x.Events), 3)
+	assert.DeepEqual(t, x.LimitHits, []trail.LimitHit{{
 		Limit: "queue full", Kind: model.EventRefused, Count: 2, Detail: "second",
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
 	}})
-	assert.Equal(t, x.Blocks[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
-	var kinds []trail.BlockKind
-	for _, b := range x.Blocks {
+	assert.Equal(t, x.Obstacles[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
+	var kinds []trail.ObstacleKind
+	for _, b := range x.Obstacles {
 		kinds = append(kinds, b.Kind)
 	}
-	assert.DeepEqual(t, kinds, []trail.BlockKind{
-		trail.BlockCapacity, trail.BlockBudget, trail.BlockConfirm, trail.BlockConfirm,
-		trail.BlockReturn, trail.BlockEjected,
+	assert.DeepEqual(t, kinds, []trail.ObstacleKind{
+		trail.ObstacleCapacityMissing, trail.ObstacleDisruptionLimit, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
+		trail.ObstacleNotReturned, trail.ObstacleEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
-	assert.Assert(t, none.Known, "events name the customer")
-	assert.Equal(t, none.Blocks[0].Kind, trail.BlockContract)
-	assert.Equal(t, none.Bounds[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
+	assert.Assert(t, none.Found, "events name the customer")
+	assert.Equal(t, none.Obstacles[0].Kind, trail.ObstacleNoContract)
+	assert.Equal(t, none.LimitHits[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
 }
 
 // TestExplainInstance guards against naming the wrong entry process for a
 // release that waits, and against advice to wait for a silent process.
 func TestExplainInstance(t *testing.T) {
 	x := trail.ExplainInstance(objects(), events(), "i2")
-	assert.DeepEqual(t, x.Blocks, []trail.Block{
+	assert.DeepEqual(t, x.Obstacles, []trail.Obstacle{
 		{
-			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
+			Kind: trail.ObstacleReleaseUnconfirmed, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
 			Advice: trail.Advice{Action: trail.ActionWait, Target: "e1"},
 		},
 		{
-			Kind: trail.BlockConfirm, Instance: "i2", Pool: "log", Process: "e2", Since: 90_000,
-			Advice: trail.Advice{Action: trail.ActionProcess, Target: "e2"},
+			Kind: trail.ObstacleReleaseUnconfirmed, Instance: "i2", Pool: "log", Process: "e2", Since: 90_000,
+			Advice: trail.Advice{Action: trail.ActionRestartProcess, Target: "e2"},
 		},
 	})
-	due := trail.ExplainInstance(objects(), events(), "i1").Blocks
+	due := trail.ExplainInstance(objects(), events(), "i1").Obstacles
 	assert.Equal(t, len(due), 2)
 	assert.Equal(t, due[0].Maintenance, "kernel")
-	assert.Equal(t, due[1].Kind, trail.BlockBudget)
+	assert.Equal(t, due[1].Kind, trail.ObstacleDisruptionLimit)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
-	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Blocks), 0, "maintained since the declaration")
-	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Known)
+	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Obstacles), 0, "maintained since the declaration")
+	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Found)
 }
 
 // TestExplainRequest guards against an unknown outcome without the events of
 // the upstream around it, and against events from long before.
 func TestExplainRequest(t *testing.T) {
 	x := trail.ExplainRequest(objects(), events(), "r3")
-	assert.Equal(t, len(x.Happened), 1)
-	assert.Equal(t, len(x.Context), 1)
-	assert.Equal(t, x.Context[0].Kind, model.EventEjected)
-	assert.Equal(t, x.Blocks[0].Kind, trail.BlockEjected)
-	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Known)
+	assert.Equal(t, len(x.Events), 1)
+	assert.Equal(t, len(x.RelatedEvents), 1)
+	assert.Equal(t, x.RelatedEvents[0].Kind, model.EventEjected)
+	assert.Equal(t, x.Obstacles[0].Kind, trail.ObstacleEjected)
+	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
 }
 
 // TestExplainIsBounded guards against an explanation that grows with the
 // length of the time line.
 func TestExplainIsBounded(t *testing.T) {
 	var many []model.Event
-	for i := range 3 * trail.MaxHappened {
+	for i := range 3 * trail.MaxEvents {
 		many = append(many, model.Event{Stamp: model.Stamp{Wall: clock.Millis(i)}, Customer: "pomar", Seq: uint64(i)})
 	}
 	x := trail.ExplainCustomer(objects(), many, "pomar")
-	assert.Equal(t, len(x.Happened), trail.MaxHappened)
-	assert.Equal(t, x.Omitted, 2*trail.MaxHappened)
-	assert.Equal(t, x.Happened[0].Seq, uint64(2*trail.MaxHappened))
+	assert.Equal(t, len(x.Events), trail.MaxEvents)
+	assert.Equal(t, x.OmittedEvents, 2*trail.MaxEvents)
+	assert.Equal(t, x.Events[0].Seq, uint64(2*trail.MaxEvents))
 }
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -11,19 +11,19 @@
 // Measures are the three figures that operators weigh, taken from the time
 // line and the present objects.
 type Measures struct {
-	// Changes lists the contract changes in the order of their versions.
-	Changes []Rollout
-	// Median and Worst are over the changes that are in force everywhere.
-	Median clock.Millis
-	Worst  clock.Millis
+	// Rollouts lists the contract changes in the order of their versions.
+	Rollouts []Rollout
+	// MedianRollout and Worst are over the changes that are in force everywhere.
+	MedianRollout  clock.Millis
+	LongestRollout clock.Millis
 	// Moves is the number of instances that changed pool.
 	Moves int
-	// Maintained is the number of finished maintenances.
-	Maintained int
-	Waves      []Wave
-	// Idle is the number of serving instances beyond what is promised: the
+	// FinishedMaintenances is the number of finished maintenances.
+	FinishedMaintenances int
+	Waves                []Wave
+	// IdleInstances is the number of serving instances beyond what is promised: the
 	// buffer.
-	Idle int
+	IdleInstances int
 }
 
 // Rollout is how long an accepted change took to be in force.
@@ -39,9 +39,9 @@
 // Wave is how far a declared maintenance is.
 type Wave struct {
 	Name string
-	// Done and All count the selected instances.
-	Done int
-	All  int
+	// Maintained and All count the selected instances.
+	Maintained int
+	Selected   int
 	// Elapsed is the time from the declaration to the last return, or to now
 	// while instances are left.
 	Elapsed clock.Millis
@@ -49,29 +49,29 @@
 
 // Measure computes the figures. Events must be in causal order, as Merge
 // returns them; changes whose events were dropped are left out.
-func Measure(o Objects, events []model.Event) Measures {
+func Measure(o CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
 		switch e.Kind {
 		case model.EventChange:
 			if e.Customer != "" {
-				m.Changes = append(m.Changes, rollout(o, e, events[i:]))
+				m.Rollouts = append(m.Rollouts, rollout(o, e, events[i:]))
 			}
 		case model.EventMoved:
 			m.Moves++
 		case model.EventMaintained:
-			m.Maintained++
+			m.FinishedMaintenances++
 		}
 	}
-	m.Median, m.Worst = spread(m.Changes)
+	m.MedianRollout, m.LongestRollout = spread(m.Rollouts)
 	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
 		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
 	}
-	m.Idle = idle(o)
+	m.IdleInstances = idle(o)
 	return m
 }
 
-func rollout(o Objects, change model.Event, after []model.Event) Rollout {
+func rollout(o CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
 	for _, p := range o.Processes {
@@ -104,29 +104,29 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
-func wave(o Objects, m model.Maintenance) Wave {
+func wave(o CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
-	last := m.Declared
+	last := m.DeclaredAt
 	for _, i := range o.Instances {
 		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
 			continue
 		}
-		w.All++
-		if i.Maintained >= m.Declared {
-			w.Done++
-			last = max(last, i.Maintained)
+		w.Selected++
+		if i.MaintainedAt >= m.DeclaredAt {
+			w.Maintained++
+			last = max(last, i.MaintainedAt)
 		}
 	}
-	if w.Done < w.All {
+	if w.Maintained < w.Selected {
 		last = o.Now
 	}
-	w.Elapsed = last - m.Declared
+	w.Elapsed = last - m.DeclaredAt
 	return w
 }
 
 // idle counts the serving instances beyond the promise of their pools. Spare
 // instances are all idle, as nothing is promised in a spare pool.
-func idle(o Objects) int {
+func idle(o CurrentState) int {
 	promised := map[model.Pool]int{}
 	for _, c := range o.Contracts {
 		for _, p := range c.Pools {
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -12,12 +12,12 @@
 const contextSpan = 5 * clock.Second
 
 // ExplainCustomer explains a customer. The events must be merged.
-func ExplainCustomer(o Objects, events []model.Event, name model.Customer) Explanation {
+func ExplainCustomer(o CurrentState, events []model.Event, name model.Customer) Explanation {
 	c, known := o.Contracts[name]
-	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Known: known, Contract: c}
+	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
-		x.Blocks = []Block{{Kind: BlockContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
+		x.Obstacles = []Obstacle{{Kind: ObstacleNoContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
 	instances := sorted(o.Instances)
@@ -28,57 +28,57 @@
 		x.addPool(model.PoolShare{Pool: c.SparePool, Instances: c.Spare}, true, instances)
 	}
 	if b, reached := disruption(o, c); reached {
-		x.Blocks = append(x.Blocks, b)
+		x.Obstacles = append(x.Obstacles, b)
 	}
 	latest := latestUpstreams(events)
 	for _, i := range instances {
 		if holds(c, i.Pool) {
-			x.Blocks = append(x.Blocks, instanceBlocks(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
 		}
 	}
 	return x
 }
 
 // ExplainInstance explains an instance. The events must be merged.
-func ExplainInstance(o Objects, events []model.Event, id model.InstanceID) Explanation {
+func ExplainInstance(o CurrentState, events []model.Event, id model.InstanceID) Explanation {
 	i, known := o.Instances[id]
-	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Known: known, Instance: i}
+	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Found: known, Instance: i}
 	x.collect(events, func(e model.Event) bool { return e.Instance == id })
 	if !known {
 		return x
 	}
-	x.Blocks = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
+	x.Obstacles = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
 	return x
 }
 
 // ExplainRequest explains a request by its identity. The events must be
 // merged.
-func ExplainRequest(o Objects, events []model.Event, id string) Explanation {
+func ExplainRequest(o CurrentState, events []model.Event, id string) Explanation {
 	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
 	x.collect(events, func(e model.Event) bool { return e.Request == id })
-	if len(x.Happened) == 0 {
+	if len(x.Events) == 0 {
 		return x
 	}
-	from := x.Happened[0].Stamp.Wall - contextSpan
-	to := x.Happened[len(x.Happened)-1].Stamp.Wall + contextSpan
+	from := x.Events[0].Stamp.Wall - contextSpan
+	to := x.Events[len(x.Events)-1].Stamp.Wall + contextSpan
 	involved := map[model.InstanceID]bool{}
-	for _, e := range x.Happened {
+	for _, e := range x.Events {
 		if e.Instance != "" {
 			involved[e.Instance] = true
 		}
 	}
 	for _, e := range events {
 		if involved[e.Instance] && e.Request != id && e.Stamp.Wall >= from && e.Stamp.Wall <= to {
-			x.Context = append(x.Context, e)
+			x.RelatedEvents = append(x.RelatedEvents, e)
 		}
 	}
-	if over := len(x.Context) - MaxHappened; over > 0 {
-		x.Context = slices.Clone(x.Context[over:])
+	if over := len(x.RelatedEvents) - MaxEvents; over > 0 {
+		x.RelatedEvents = slices.Clone(x.RelatedEvents[over:])
 	}
 	latest := latestUpstreams(events)
 	for _, i := range sorted(o.Instances) {
 		if involved[i.ID] {
-			x.Blocks = append(x.Blocks, instanceBlocks(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
 		}
 	}
 	return x
@@ -110,14 +110,14 @@
 	if missing <= 0 {
 		return
 	}
-	b := Block{
-		Kind: BlockCapacity, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
+	b := Obstacle{
+		Kind: ObstacleCapacityMissing, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
 		Advice: Advice{ActionWait, string(p.Pool)},
 	}
 	if missing > returning {
 		b.Advice.Action = ActionAddInstances
 	}
-	x.Blocks = append(x.Blocks, b)
+	x.Obstacles = append(x.Obstacles, b)
 }
 
 func holds(c model.Contract, p model.Pool) bool {
@@ -126,15 +126,15 @@
 
 // disruption reports whether the customer's limit of unavailable instances is
 // reached by released instances and those in maintenance.
-func disruption(o Objects, c model.Contract) (b Block, reached bool) {
+func disruption(o CurrentState, c model.Contract) (b Obstacle, reached bool) {
 	out := 0
 	for _, i := range o.Instances {
 		if holds(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
 			out++
 		}
 	}
-	b = Block{
-		Kind: BlockBudget, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
+	b = Obstacle{
+		Kind: ObstacleDisruptionLimit, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
 		Advice: adviceFor("max-unavailable"),
 	}
 	if out > 0 {
@@ -158,34 +158,34 @@
 }
 
 // instanceBlocks returns what keeps an instance from serving or moving on.
-func instanceBlocks(o Objects, latest map[model.InstanceID]model.Event, i model.Instance) []Block {
-	var blocks []Block
+func instanceBlocks(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
+	var blocks []Obstacle
 	switch i.Phase {
 	case model.PhaseReleasing:
 		for _, p := range o.Processes {
-			if p.Zone == i.Zone && p.Drained < i.Version {
-				blocks = append(blocks, Block{
-					Kind: BlockConfirm, Instance: i.ID, Pool: i.Pool, Process: p.Name,
-					Since: i.Since, Advice: confirmAdvice(o, p),
+			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
+				blocks = append(blocks, Obstacle{
+					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
+					Since: i.PhaseSince, Advice: confirmAdvice(o, p),
 				})
 			}
 		}
 	case model.PhaseMaintenance:
-		blocks = append(blocks, Block{
-			Kind: BlockReturn, Instance: i.ID, Pool: i.Pool, Since: i.Since,
-			Advice: instanceAdvice(ActionPlatform, i.ID),
+		blocks = append(blocks, Obstacle{
+			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.PhaseSince,
+			Advice: instanceAdvice(ActionCheckPlatform, i.ID),
 		})
 	case model.PhaseServing:
 		e, ok := latest[i.ID]
 		if ok && e.Kind == model.EventEjected {
-			blocks = append(blocks, Block{
-				Kind: BlockEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
-				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepair, i.ID),
+			blocks = append(blocks, Obstacle{
+				Kind: ObstacleEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
+				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepairUpstream, i.ID),
 			})
 		}
 		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
-			blocks = append(blocks, Block{
-				Kind: BlockGone, Instance: i.ID, Pool: i.Pool, Process: e.Process,
+			blocks = append(blocks, Obstacle{
+				Kind: ObstacleNotAnnounced, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
 			})
 		}
@@ -195,18 +195,18 @@
 
 // waveBlocks returns the declared maintenance that has not reached a serving
 // instance, with the customers whose limits hold it up.
-func waveBlocks(o Objects, i model.Instance) []Block {
+func waveBlocks(o CurrentState, i model.Instance) []Obstacle {
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
-	var blocks []Block
+	var blocks []Obstacle
 	for _, m := range sorted(o.Maintenance) {
-		if !m.Selector.Matches(i) || i.Maintained >= m.Declared {
+		if !m.Selector.Matches(i) || i.MaintainedAt >= m.DeclaredAt {
 			continue
 		}
-		blocks = append(blocks, Block{
-			Kind: BlockWave, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
-			Since: m.Declared, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
+		blocks = append(blocks, Obstacle{
+			Kind: ObstacleMaintenanceDue, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
+			Since: m.DeclaredAt, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
 		})
 	}
 	if len(blocks) == 0 {
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -28,7 +28,7 @@
 		w.Instances = list(c.Instances, InstanceStepToWire)
 	case model.ChangeClaims:
 		w.Claims = list(c.Claims, ClaimToWire)
-		w.Process, w.Run = text(c.Process), c.Run
+		w.Process, w.Run = text(c.Process), c.Incarnation
 	case model.ChangeOutcomes:
 		w.Outcomes = list(c.Outcomes, ClaimOutcomeToWire)
 	case model.ChangeProcessGone:
@@ -66,7 +66,7 @@
 		c.Instances, err = listFrom(w.GetInstances(), InstanceStepFromWire)
 	case model.ChangeClaims:
 		c.Claims, err = listFrom(w.GetClaims(), ClaimFromWire)
-		c.Process, c.Run = model.Process(w.GetProcess()), w.GetRun()
+		c.Process, c.Incarnation = model.Process(w.GetProcess()), w.GetRun()
 	case model.ChangeOutcomes:
 		c.Outcomes, err = listFrom(w.GetOutcomes(), ClaimOutcomeFromWire)
 	case model.ChangeProcessGone:
@@ -168,7 +168,7 @@
 
 // ClaimAnswerToWire maps an answer.
 func ClaimAnswerToWire(a model.ClaimAnswer) *wirepb.ClaimAnswer {
-	return &wirepb.ClaimAnswer{Granted: a.Granted, First: int32(a.First), Status: int64(a.Status)}
+	return &wirepb.ClaimAnswer{Granted: a.Granted, First: int32(a.FirstState), Status: int64(a.Status)}
 }
 
 // ClaimAnswerFromWire maps an answer.
@@ -177,7 +177,7 @@
 	if err != nil {
 		return model.ClaimAnswer{}, err
 	}
-	return model.ClaimAnswer{Granted: w.GetGranted(), First: first, Status: int(w.GetStatus())}, nil
+	return model.ClaimAnswer{Granted: w.GetGranted(), FirstState: first, Status: int(w.GetStatus())}, nil
 }
 
 // ResultToWire maps a result.
@@ -186,7 +186,7 @@
 		Kind:    int32(r.Kind),
 		Version: uint64(r.Version),
 		Winner:  text(r.Winner),
-		Differs: list(r.Differs, text[string]),
+		Differs: list(r.DifferingFields, text[string]),
 		Reason:  text(r.Reason),
 		Claims:  list(r.Claims, ClaimAnswerToWire),
 	}
@@ -203,11 +203,11 @@
 		return model.Result{}, err
 	}
 	return model.Result{
-		Kind:    kind,
-		Version: model.Version(w.GetVersion()),
-		Winner:  w.GetWinner(),
-		Differs: w.GetDiffers(),
-		Reason:  w.GetReason(),
-		Claims:  claims,
+		Kind:            kind,
+		Version:         model.Version(w.GetVersion()),
+		Winner:          w.GetWinner(),
+		DifferingFields: w.GetDiffers(),
+		Reason:          w.GetReason(),
+		Claims:          claims,
 	}, nil
 }
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -17,9 +17,9 @@
 	return &wirepb.Job{
 		Id: text(j.ID), Queue: text(j.Queue), Pool: text(j.Pool), Spec: []byte(j.Spec),
 		Steps: list(j.Steps, jobStepToWire),
-		Times: int64(j.Times), FirstMs: int64(j.First), IntervalMs: int64(j.Interval),
-		Priority: int64(j.Priority), Attempts: int64(j.Attempts),
-		TargetMs: int64(j.Target), StretchPermille: int64(j.StretchPermille), AcceptedMs: int64(j.Accepted),
+		Times: int64(j.OccurrenceCount), FirstMs: int64(j.FirstDue), IntervalMs: int64(j.Interval),
+		Priority: int64(j.Priority), Attempts: int64(j.MaxAttempts),
+		TargetMs: int64(j.Target), StretchPermille: int64(j.StretchPermille), AcceptedMs: int64(j.AcceptedAt),
 	}
 }
 
@@ -31,9 +31,9 @@
 	}
 	j := jobs.Job{
 		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Pool: jobs.PoolName(w.GetPool()), Spec: string(w.GetSpec()),
-		Times: int(w.GetTimes()), First: clock.Millis(w.GetFirstMs()), Interval: clock.Millis(w.GetIntervalMs()),
-		Priority: int(w.GetPriority()), Attempts: int(w.GetAttempts()),
-		Target: clock.Millis(w.GetTargetMs()), StretchPermille: int(w.GetStretchPermille()), Accepted: clock.Millis(w.GetAcceptedMs()),
+		OccurrenceCount: int(w.GetTimes()), FirstDue: clock.Millis(w.GetFirstMs()), Interval: clock.Millis(w.GetIntervalMs()),
+		Priority: int(w.GetPriority()), MaxAttempts: int(w.GetAttempts()),
+		Target: clock.Millis(w.GetTargetMs()), StretchPermille: int(w.GetStretchPermille()), AcceptedAt: clock.Millis(w.GetAcceptedMs()),
 	}
 	total := int64(0)
 	for i, s := range w.GetSteps() {
@@ -51,8 +51,8 @@
 	if len(j.Steps) == 0 {
 		return j, jobError(KindMissing, "job %s has no steps", j.ID)
 	}
-	if j.Times < 0 || int64(j.Times)*total > maxTasks {
-		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.Times, total)
+	if j.OccurrenceCount < 0 || int64(j.OccurrenceCount)*total > maxTasks {
+		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.OccurrenceCount, total)
 	}
 	return j, nil
 }
@@ -63,14 +63,14 @@
 
 func jobStepToWire(s jobs.Step) *wirepb.JobStep {
 	w := &wirepb.JobStep{
-		Count: int64(s.Count), EstimateMs: int64(s.Estimate), Saves: s.Saves, Gang: s.Gang, SameRack: s.SameRack,
-		Label: text(s.Label), DataRack: text(s.DataRack), PerWorker: int64(s.PerWorker), Copies: s.Copies,
-		Lasting: s.Lasting, Image: text(s.Image), LatencyMs: int64(s.Latency), Filler: s.Filler, MayMiss: int64(s.MayMiss),
+		Count: int64(s.TaskCount), EstimateMs: int64(s.Estimate), Saves: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack,
+		Label: text(s.RequiredLabel), DataRack: text(s.DataRack), PerWorker: int64(s.MaxPerWorker), Copies: s.Speculative,
+		Lasting: s.LongRunning, Image: text(s.Image), LatencyMs: int64(s.LatencyTarget), Filler: s.BestEffort, MayMiss: int64(s.MaxUnavailable),
 		Need: &wirepb.JobSize{
-			MilliCores: int64(s.Need.MilliCores), MemoryMib: int64(s.Need.MemoryMiB), Accelerators: int64(s.Need.Accelerators),
+			MilliCores: int64(s.Resources.MilliCores), MemoryMib: int64(s.Resources.MemoryMiB), Accelerators: int64(s.Resources.Accelerators),
 		},
 	}
-	for _, before := range s.After {
+	for _, before := range s.DependsOn {
 		w.After = append(w.After, int64(before))
 	}
 	return w
@@ -78,27 +78,27 @@
 
 func jobStepFromWire(w *wirepb.JobStep) jobs.Step {
 	s := jobs.Step{
-		Count: int(w.GetCount()), Estimate: clock.Millis(w.GetEstimateMs()), Saves: w.GetSaves(), Gang: w.GetGang(),
-		SameRack: w.GetSameRack(), Label: w.GetLabel(), DataRack: w.GetDataRack(), PerWorker: int(w.GetPerWorker()),
-		Copies: w.GetCopies(), Lasting: w.GetLasting(), Image: w.GetImage(), Latency: clock.Millis(w.GetLatencyMs()),
-		Filler: w.GetFiller(), MayMiss: int(w.GetMayMiss()),
-		Need: jobs.Size{
+		TaskCount: int(w.GetCount()), Estimate: clock.Millis(w.GetEstimateMs()), Checkpoints: w.GetSaves(), Gang: w.GetGang(),
+		SameRack: w.GetSameRack(), RequiredLabel: w.GetLabel(), DataRack: w.GetDataRack(), MaxPerWorker: int(w.GetPerWorker()),
+		Speculative: w.GetCopies(), LongRunning: w.GetLasting(), Image: w.GetImage(), LatencyTarget: clock.Millis(w.GetLatencyMs()),
+		BestEffort: w.GetFiller(), MaxUnavailable: int(w.GetMayMiss()),
+		Resources: jobs.Resources{
 			MilliCores: int(w.GetNeed().GetMilliCores()), MemoryMiB: int(w.GetNeed().GetMemoryMib()),
 			Accelerators: int(w.GetNeed().GetAccelerators()),
 		},
 	}
 	for _, before := range w.GetAfter() {
-		s.After = append(s.After, int(before))
+		s.DependsOn = append(s.DependsOn, int(before))
 	}
 	return s
 }
 
-func taskToWire(t jobs.Task) *wirepb.JobTask {
+func taskToWire(t jobs.TaskID) *wirepb.JobTask {
 	return &wirepb.JobTask{Job: text(t.Job), Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
 }
 
-func taskFromWire(w *wirepb.JobTask) jobs.Task {
-	return jobs.Task{
+func taskFromWire(w *wirepb.JobTask) jobs.TaskID {
+	return jobs.TaskID{
 		Job: jobs.ID(w.GetJob()), Occurrence: int(w.GetOccurrence()), Step: int(w.GetStep()), Index: int(w.GetIndex()),
 	}
 }
@@ -106,10 +106,10 @@
 // OpToWire maps an operation on submitted work.
 func OpToWire(o jobs.Op) *wirepb.JobOp {
 	w := &wirepb.JobOp{
-		Kind: int32(o.Kind), Run: int64(o.Run), Worker: text(o.Worker), Life: int64(o.Life), How: int32(o.How),
-		Saved: []byte(o.Saved), Number: int64(o.Number), Machine: text(o.Machine),
+		Kind: int32(o.Kind), Run: int64(o.Run), Worker: text(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
+		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: text(o.Machine),
 	}
-	if o.Task != (jobs.Task{}) {
+	if o.Task != (jobs.TaskID{}) {
 		w.Task = taskToWire(o.Task)
 	}
 	if o.Job != nil {
@@ -127,16 +127,16 @@
 // OpFromWire maps an operation on submitted work; the part that its kind calls
 // for is required.
 func OpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
-	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpBegun) {
+	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpMaintenanceStarted) {
 		return jobs.Op{}, jobError(KindRange, "operation of kind %d", w.GetKind())
 	}
-	if w.GetHow() < 0 || w.GetHow() > int32(jobs.HowLost) {
+	if w.GetHow() < 0 || w.GetHow() > int32(jobs.ResultLost) {
 		return jobs.Op{}, jobError(KindRange, "end of kind %d", w.GetHow())
 	}
 	o := jobs.Op{
 		Kind: jobs.OpKind(w.GetKind()), Task: taskFromWire(w.GetTask()), Run: int(w.GetRun()),
-		Worker: jobs.WorkerID(w.GetWorker()), Life: jobs.Life(w.GetLife()), How: jobs.How(w.GetHow()),
-		Saved: string(w.GetSaved()), Number: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
+		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Result: jobs.Result(w.GetHow()),
+		Checkpoint: string(w.GetSaved()), WaveNumber: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
@@ -148,7 +148,7 @@
 	case jobs.OpConfig:
 		c := jobConfigFromWire(w.GetConfig())
 		o.Config = &c
-	case jobs.OpWave:
+	case jobs.OpDeclareWave:
 		o.Wave = waveFromWire(w.GetWave())
 	}
 	return o, nil
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -15,13 +15,13 @@
 // anyJob generates one of a few jobs, so that operations meet.
 func anyJob(t *rapid.T) jobs.Job {
 	j := jobs.Job{
-		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", Attempts: 2, Target: 3600, StretchPermille: 1600,
+		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", MaxAttempts: 2, Target: 3600, StretchPermille: 1600,
 		Steps: []jobs.Step{
-			{Count: 2, Need: jobs.Size{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", PerWorker: 1},
-			{Count: 1, After: []int{0}, Saves: true, Lasting: rapid.Bool().Draw(t, "lasting"), MayMiss: 1, Latency: 40},
+			{TaskCount: 2, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 256}, Estimate: 900, DataRack: "r1", MaxPerWorker: 1},
+			{TaskCount: 1, DependsOn: []int{0}, Checkpoints: true, LongRunning: rapid.Bool().Draw(t, "lasting"), MaxUnavailable: 1, LatencyTarget: 40},
 		},
 	}
-	j.Times = rapid.IntRange(0, 2).Draw(t, "times")
+	j.OccurrenceCount = rapid.IntRange(0, 2).Draw(t, "times")
 	return j
 }
 
@@ -32,11 +32,11 @@
 // anyOp generates an operation on submitted work.
 func anyOp(t *rapid.T) jobs.Op {
 	o := jobs.Op{
-		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpBegun)).Draw(t, "op")),
-		Task: jobs.Task{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
-		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Life: 7,
-		How: jobs.How(rapid.IntRange(0, int(jobs.HowLost)).Draw(t, "how")), Saved: "\xfe",
-		Number: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
+		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpMaintenanceStarted)).Draw(t, "op")),
+		Task: jobs.TaskID{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
+		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Incarnation: 7,
+		Result: jobs.Result(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
+		WaveNumber: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
@@ -45,11 +45,11 @@
 	case jobs.OpConfig:
 		o.Config = &jobs.Config{
 			Version: rapid.Uint64Range(1, 9).Draw(t, "version"), Document: []byte("{}"),
-			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", Attempts: 2, Advice: jobs.Advice{Valid: 4000, Decide: 50, Each: 3}}},
-			Pools:  []jobs.Pool{{Name: "p", Standby: true, Guarded: true}},
+			Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/p/", Pool: "p", MaxAttempts: 2, Advice: jobs.AdvicePolicy{TicketValidity: 4000, BaseLatency: 50, LatencyPerWorker: 3}}},
+			Pools:  []jobs.Pool{{Name: "p", Standby: true, AdmissionControl: true}},
 		}
-	case jobs.OpWave:
-		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, Cap: 1, Declared: 5, Deadline: clock.Minute}
+	case jobs.OpDeclareWave:
+		o.Wave = &jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, DeclaredAt: 5, Deadline: clock.Minute}
 	}
 	return o
 }
@@ -68,7 +68,7 @@
 // TestJobRefusals guards against jobs that could not be scheduled, or that
 // would make a process allocate without a bound.
 func TestJobRefusals(t *testing.T) {
-	step := jobs.Step{Count: 1}
+	step := jobs.Step{TaskCount: 1}
 	cases := []struct {
 		name string
 		job  jobs.Job
@@ -76,11 +76,11 @@
 		{"no id", jobs.Job{Steps: []jobs.Step{step}}},
 		{"no steps", jobs.Job{ID: "a"}},
 		{"no tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{}}}},
-		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: maxTasks + 1}}}},
-		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, Times: maxTasks + 1}},
-		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{0}}}}},
-		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{1}}, step}}},
-		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1, After: []int{-1}}}}},
+		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: maxTasks + 1}}}},
+		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, OccurrenceCount: maxTasks + 1}},
+		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{0}}}}},
+		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{1}}, step}}},
+		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{-1}}}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobs.go
@@ -14,26 +14,26 @@
 	for _, q := range c.Queues {
 		w.Queues = append(w.Queues, &wirepb.JobQueue{
 			Name: text(q.Name), Host: text(q.Host), Prefix: text(q.Prefix), Pool: text(q.Pool), Priority: int64(q.Priority),
-			Attempts: int64(q.Attempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advice: adviceToWire(q.Advice),
+			Attempts: int64(q.MaxAttempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advice: adviceToWire(q.Advice),
 		})
 	}
 	for _, p := range c.Pools {
-		w.Pools = append(w.Pools, &wirepb.JobPool{Name: text(p.Name), Standby: p.Standby, Guarded: p.Guarded})
+		w.Pools = append(w.Pools, &wirepb.JobPool{Name: text(p.Name), Standby: p.Standby, Guarded: p.AdmissionControl})
 	}
 	return w
 }
 
 // adviceToWire leaves the rule of a queue without advice out.
-func adviceToWire(a jobs.Advice) *wirepb.JobAdvice {
-	if a == (jobs.Advice{}) {
+func adviceToWire(a jobs.AdvicePolicy) *wirepb.JobAdvice {
+	if a == (jobs.AdvicePolicy{}) {
 		return nil
 	}
-	return &wirepb.JobAdvice{ValidMs: int64(a.Valid), DecideMs: int64(a.Decide), EachMs: int64(a.Each)}
+	return &wirepb.JobAdvice{ValidMs: int64(a.TicketValidity), DecideMs: int64(a.BaseLatency), EachMs: int64(a.LatencyPerWorker)}
 }
 
-func adviceFromWire(w *wirepb.JobAdvice) jobs.Advice {
-	return jobs.Advice{
-		Valid: clock.Millis(w.GetValidMs()), Decide: clock.Millis(w.GetDecideMs()), Each: clock.Millis(w.GetEachMs()),
+func adviceFromWire(w *wirepb.JobAdvice) jobs.AdvicePolicy {
+	return jobs.AdvicePolicy{
+		TicketValidity: clock.Millis(w.GetValidMs()), BaseLatency: clock.Millis(w.GetDecideMs()), LatencyPerWorker: clock.Millis(w.GetEachMs()),
 	}
 }
 
@@ -42,28 +42,28 @@
 	for _, q := range w.GetQueues() {
 		c.Queues = append(c.Queues, jobs.Queue{
 			Name: jobs.QueueName(q.GetName()), Host: q.GetHost(), Prefix: q.GetPrefix(), Pool: jobs.PoolName(q.GetPool()),
-			Priority: int(q.GetPriority()), Attempts: int(q.GetAttempts()), Target: clock.Millis(q.GetTargetMs()),
+			Priority: int(q.GetPriority()), MaxAttempts: int(q.GetAttempts()), Target: clock.Millis(q.GetTargetMs()),
 			StretchPermille: int(q.GetStretchPermille()), Advice: adviceFromWire(q.GetAdvice()),
 		})
 	}
 	for _, p := range w.GetPools() {
-		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(p.GetName()), Standby: p.GetStandby(), Guarded: p.GetGuarded()})
+		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(p.GetName()), Standby: p.GetStandby(), AdmissionControl: p.GetGuarded()})
 	}
 	return c
 }
 
 func waveToWire(w *jobs.Wave) *wirepb.JobWave {
 	return &wirepb.JobWave{
-		Number: int64(w.Number), Machines: list(w.Machines, text), Cap: int64(w.Cap),
-		DeclaredMs: int64(w.Declared), DeadlineMs: int64(w.Deadline),
-		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Begun)), text),
+		Number: int64(w.Number), Machines: list(w.Machines, text), Cap: int64(w.MaxDown),
+		DeclaredMs: int64(w.DeclaredAt), DeadlineMs: int64(w.Deadline),
+		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Started)), text),
 	}
 }
 
 func waveFromWire(w *wirepb.JobWave) *jobs.Wave {
 	v := &jobs.Wave{
-		Number: int(w.GetNumber()), Cap: int(w.GetCap()), Declared: clock.Millis(w.GetDeclaredMs()),
-		Deadline: clock.Millis(w.GetDeadlineMs()), Ordered: map[jobs.MachineID]bool{}, Begun: map[jobs.MachineID]bool{},
+		Number: int(w.GetNumber()), MaxDown: int(w.GetCap()), DeclaredAt: clock.Millis(w.GetDeclaredMs()),
+		Deadline: clock.Millis(w.GetDeadlineMs()), Ordered: map[jobs.MachineID]bool{}, Started: map[jobs.MachineID]bool{},
 	}
 	for _, m := range w.GetMachines() {
 		v.Machines = append(v.Machines, jobs.MachineID(m))
@@ -72,7 +72,7 @@
 		v.Ordered[jobs.MachineID(m)] = true
 	}
 	for _, m := range w.GetBegun() {
-		v.Begun[jobs.MachineID(m)] = true
+		v.Started[jobs.MachineID(m)] = true
 	}
 	return v
 }
@@ -80,7 +80,7 @@
 // JobsToWire maps the submitted work, in the order of names.
 func JobsToWire(s *jobs.State) *wirepb.JobsSnapshot {
 	w := &wirepb.JobsSnapshot{
-		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: list(s.Ended, text),
+		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: list(s.EndedJobs, text),
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		w.Records = append(w.Records, recordToWire(s.Jobs[id]))
@@ -93,7 +93,7 @@
 
 func recordToWire(r *jobs.Record) *wirepb.JobRecord {
 	w := &wirepb.JobRecord{
-		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.Started, EndedMs: int64(r.Ended),
+		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.EverAssigned, EndedMs: int64(r.EndedAt),
 	}
 	for _, o := range r.Occurrences {
 		wo := &wirepb.JobOccurrence{}
@@ -102,8 +102,8 @@
 			for _, t := range st.Tasks {
 				if t != (jobs.TaskState{}) {
 					wo.Tasks = append(wo.Tasks, &wirepb.JobTaskState{
-						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Fails),
-						Worker: text(t.Worker), Life: int64(t.Life), Saved: []byte(t.Saved),
+						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Failures),
+						Worker: text(t.Worker), Life: int64(t.Incarnation), Saved: []byte(t.Checkpoint),
 					})
 				}
 				at++
@@ -120,7 +120,7 @@
 	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
 	s.Config = jobConfigFromWire(w.GetConfig())
 	for _, id := range w.GetEnded() {
-		s.Ended = append(s.Ended, jobs.ID(id))
+		s.EndedJobs = append(s.EndedJobs, jobs.ID(id))
 	}
 	for _, wr := range w.GetRecords() {
 		r, err := recordFromWire(wr)
@@ -144,7 +144,7 @@
 		return nil, jobError(KindRange, "job %s has status %d", j.ID, w.GetStatus())
 	}
 	r := jobs.NewRecord(j, w.GetSeq())
-	r.Status, r.Started, r.Ended = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
+	r.Status, r.EverAssigned, r.EndedAt = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
 	if len(w.GetOccurrences()) != len(r.Occurrences) {
 		return nil, jobError(KindRange, "job %s has %d occurrences in place of %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
 	}
@@ -155,7 +155,7 @@
 			}
 		}
 	}
-	r.Count()
+	r.Recount()
 	return r, nil
 }
 
@@ -168,8 +168,8 @@
 		tasks := r.Occurrences[k].Steps[i].Tasks
 		if at >= 0 && at < len(tasks) {
 			tasks[at] = jobs.TaskState{
-				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Fails: int(w.GetFails()),
-				Worker: jobs.WorkerID(w.GetWorker()), Life: jobs.Life(w.GetLife()), Saved: string(w.GetSaved()),
+				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Failures: int(w.GetFails()),
+				Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Checkpoint: string(w.GetSaved()),
 			}
 			return nil
 		}
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -16,15 +16,15 @@
 )
 
 // AskToWire maps an ask for loans.
-func AskToWire(a lend.Ask) *wirepb.LendRequest {
+func AskToWire(a lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
 		Borrower: text(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: text(a.Pool),
-		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.Hold),
+		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.MaxRequestTime),
 	}
 }
 
 // AskFromWire maps an ask for loans; borrower and pool are required.
-func AskFromWire(w *wirepb.LendRequest) (lend.Ask, error) {
+func AskFromWire(w *wirepb.LendRequest) (lend.LoanRequest, error) {
 	const op = "ask for loans"
 	err := firstOf(
 		required(op, "borrower", w.GetBorrower(), "pool", w.GetPool()),
@@ -32,17 +32,17 @@
 		between(op, "hold", w.GetHoldMs(), 0, int64(maxLoanTime)),
 	)
 	if err != nil {
-		return lend.Ask{}, err
+		return lend.LoanRequest{}, err
 	}
-	return lend.Ask{
+	return lend.LoanRequest{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(), Number: w.GetNumber(),
 		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: list(w.GetRenew(), idFromWire),
-		Hold: clock.Millis(w.GetHoldMs()),
+		MaxRequestTime: clock.Millis(w.GetHoldMs()),
 	}, nil
 }
 
 // AnswerToWire maps the answer to an ask.
-func AnswerToWire(a lend.Answer) *wirepb.LendResponse {
+func AnswerToWire(a lend.LoanResponse) *wirepb.LendResponse {
 	return &wirepb.LendResponse{
 		Incarnation: a.Incarnation, LeaseMs: int64(a.Lease),
 		Loans: list(a.Loans, loanToWire), Renewed: list(a.Renewed, idToWire),
@@ -51,12 +51,12 @@
 
 // AnswerFromWire maps the answer to an ask; it is refused whole when one of its
 // loans is malformed.
-func AnswerFromWire(w *wirepb.LendResponse) (lend.Answer, error) {
+func AnswerFromWire(w *wirepb.LendResponse) (lend.LoanResponse, error) {
 	if err := between("answer about loans", "lease", w.GetLeaseMs(), 0, int64(maxLoanTime)); err != nil {
-		return lend.Answer{}, err
+		return lend.LoanResponse{}, err
 	}
 	loans, err := listFrom(w.GetLoans(), loanFromWire)
-	return lend.Answer{
+	return lend.LoanResponse{
 		Incarnation: w.GetIncarnation(), Lease: clock.Millis(w.GetLeaseMs()),
 		Loans: loans, Renewed: list(w.GetRenewed(), idFromWire),
 	}, err
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -86,11 +86,11 @@
 		Slots:        int64(i.Slots),
 		Connections:  int64(i.Connections),
 		Reason:       text(i.Reason),
-		MaintainedMs: int64(i.Maintained),
+		MaintainedMs: int64(i.MaintainedAt),
 		Incarnation:  i.Incarnation,
-		LostMs:       int64(i.Lost),
-		OutMs:        int64(i.Out),
-		SinceMs:      int64(i.Since),
+		LostMs:       int64(i.LostSince),
+		OutMs:        int64(i.OutSince),
+		SinceMs:      int64(i.PhaseSince),
 		Version:      uint64(i.Version),
 	}
 }
@@ -106,21 +106,21 @@
 		return model.Instance{}, err
 	}
 	return model.Instance{
-		ID:          model.InstanceID(w.GetId()),
-		Zone:        model.Zone(w.GetZone()),
-		Rack:        model.Rack(w.GetRack()),
-		Pool:        model.Pool(w.GetPool()),
-		Target:      model.Pool(w.GetTarget()),
-		Phase:       phase,
-		Slots:       int(w.GetSlots()),
-		Connections: int(w.GetConnections()),
-		Reason:      w.GetReason(),
-		Maintained:  clock.Millis(w.GetMaintainedMs()),
-		Incarnation: w.GetIncarnation(),
-		Lost:        clock.Millis(w.GetLostMs()),
-		Out:         clock.Millis(w.GetOutMs()),
-		Since:       clock.Millis(w.GetSinceMs()),
-		Version:     model.Version(w.GetVersion()),
+		ID:           model.InstanceID(w.GetId()),
+		Zone:         model.Zone(w.GetZone()),
+		Rack:         model.Rack(w.GetRack()),
+		Pool:         model.Pool(w.GetPool()),
+		Target:       model.Pool(w.GetTarget()),
+		Phase:        phase,
+		Slots:        int(w.GetSlots()),
+		Connections:  int(w.GetConnections()),
+		Reason:       w.GetReason(),
+		MaintainedAt: clock.Millis(w.GetMaintainedMs()),
+		Incarnation:  w.GetIncarnation(),
+		LostSince:    clock.Millis(w.GetLostMs()),
+		OutSince:     clock.Millis(w.GetOutMs()),
+		PhaseSince:   clock.Millis(w.GetSinceMs()),
+		Version:      model.Version(w.GetVersion()),
 	}, nil
 }
 
@@ -149,7 +149,7 @@
 	return &wirepb.Maintenance{
 		Name:       text(m.Name),
 		Selector:   SelectorToWire(m.Selector),
-		DeclaredMs: int64(m.Declared),
+		DeclaredMs: int64(m.DeclaredAt),
 		DeadlineMs: int64(m.Deadline),
 		Version:    uint64(m.Version),
 	}
@@ -161,10 +161,10 @@
 		return model.Maintenance{}, err
 	}
 	return model.Maintenance{
-		Name:     w.GetName(),
-		Selector: SelectorFromWire(w.GetSelector()),
-		Declared: clock.Millis(w.GetDeclaredMs()),
-		Deadline: clock.Millis(w.GetDeadlineMs()),
-		Version:  model.Version(w.GetVersion()),
+		Name:       w.GetName(),
+		Selector:   SelectorFromWire(w.GetSelector()),
+		DeclaredAt: clock.Millis(w.GetDeclaredMs()),
+		Deadline:   clock.Millis(w.GetDeadlineMs()),
+		Version:    model.Version(w.GetVersion()),
 	}, nil
 }
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -23,15 +23,15 @@
 		Contracts:   list(sorted(s.Contracts), ContractToWire),
 		Instances:   list(sorted(s.Instances), InstanceToWire),
 		Maintenance: list(sorted(s.Maintenance), MaintenanceToWire),
-		Touches:     list(s.Touches, touchToWire),
+		Touches:     list(s.TableChanges, touchToWire),
 		Outages:     list(s.Outages, OutageToWire),
 		Jobs:        JobsToWire(s.Jobs),
 	}
-	for _, p := range slices.Sorted(maps.Keys(s.Runs)) {
-		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Runs[p]})
+	for _, p := range slices.Sorted(maps.Keys(s.Incarnations)) {
+		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Incarnations[p]})
 	}
-	for _, p := range slices.Sorted(maps.Keys(s.Gone)) {
-		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.Gone[p])})
+	for _, p := range slices.Sorted(maps.Keys(s.GoneProcesses)) {
+		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.GoneProcesses[p])})
 	}
 	s.Results.Each(func(k model.RequestID, r model.Result, t clock.Millis) {
 		w.Results = append(w.Results, &wirepb.RememberedResult{Request: text(k), Result: ResultToWire(r), TimeMs: int64(t)})
@@ -41,7 +41,7 @@
 			Key:    ClaimKeyToWire(k),
 			Token:  text(c.Token),
 			Owner:  text(c.Owner),
-			Run:    c.Run,
+			Run:    c.Incarnation,
 			State:  int32(c.State),
 			Status: int64(c.Status),
 			TimeMs: int64(t),
@@ -99,7 +99,7 @@
 			return nil, stateError(KindRange, "touch %d after %d at version %d", t.GetVersion(), last, s.Version)
 		}
 		last = t.GetVersion()
-		s.Touches = append(s.Touches, fleet.Touch{
+		s.TableChanges = append(s.TableChanges, fleet.TableChange{
 			Version:  model.Version(last),
 			Contract: model.Customer(t.GetContract()),
 			Instance: model.InstanceID(t.GetInstance()),
@@ -114,13 +114,13 @@
 		if r.GetProcess() == "" {
 			return nil, stateError(KindMissing, "a run has no process")
 		}
-		s.Runs[model.Process(r.GetProcess())] = r.GetIncarnation()
+		s.Incarnations[model.Process(r.GetProcess())] = r.GetIncarnation()
 	}
 	for _, g := range w.GetGone() {
 		if g.GetProcess() == "" {
 			return nil, stateError(KindMissing, "a process that is gone has no name")
 		}
-		s.Gone[model.Process(g.GetProcess())] = clock.Millis(g.GetTimeMs())
+		s.GoneProcesses[model.Process(g.GetProcess())] = clock.Millis(g.GetTimeMs())
 	}
 	for _, a := range w.GetAuthors() {
 		if a.GetName() == "" {
@@ -200,14 +200,14 @@
 		}
 		last = t
 		s.Claims.Put(k, fleet.HeldClaim{
-			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Run: m.GetRun(),
+			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Incarnation: m.GetRun(),
 			State: state, Status: int(m.GetStatus()),
 		}, t)
 	}
 	return nil
 }
 
-func touchToWire(t fleet.Touch) *wirepb.Touch {
+func touchToWire(t fleet.TableChange) *wirepb.Touch {
 	return &wirepb.Touch{Version: uint64(t.Version), Contract: text(t.Contract), Instance: text(t.Instance)}
 }
 
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -18,7 +18,7 @@
 )
 
 // remembered lists what a memory holds, oldest first, with the times.
-func remembered[K comparable, V any](m *fleet.Memory[K, V]) []string {
+func remembered[K comparable, V any](m *fleet.ExpiringMap[K, V]) []string {
 	var out []string
 	m.Each(func(k K, v V, t clock.Millis) { out = append(out, fmt.Sprintf("%q %+v %d", fmt.Sprint(k), v, t)) })
 	return out
@@ -35,7 +35,7 @@
 		s.Instances[i.ID] = i
 	}
 	s.Maintenance["m"] = model.Maintenance{
-		Name: "m", Selector: model.Selector{Pool: "p", Zone: "z", Rack: "r", Instance: "i"}, Declared: 1, Deadline: 2, Version: 3,
+		Name: "m", Selector: model.Selector{Pool: "p", Zone: "z", Rack: "r", Instance: "i"}, DeclaredAt: 1, Deadline: 2, Version: 3,
 	}
 	for n := range rapid.IntRange(0, 5).Draw(t, "remembered") {
 		s.Results.Put(model.RequestID(fmt.Sprint("r", n%3)), anyResult(t), clock.Millis(n))
@@ -43,7 +43,7 @@
 	}
 	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
 	s.Authors["contract x"] = fleet.Author{Name: "ana", Version: 7}
-	s.Touches = []fleet.Touch{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
+	s.TableChanges = []fleet.TableChange{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
 	s.Jobs.Apply(some(t, anyOp), 70_000)
 	return s
 }
@@ -72,7 +72,7 @@
 	case 0:
 		e.Data = Codec{}.EncodeChange(anyChange(t))
 	case 1:
-		e.Kind = raft.EntryNone
+		e.Kind = raft.EntryNoOp
 	case 2:
 		e.Kind = raft.EntryMembers
 		e.Members = []raft.Member{{ID: 9, Name: "c1", Zone: "z", Address: "127.0.0.1:1", Voter: true}, {ID: 10}}
--- a/io/proto/codec/work.go
+++ b/io/proto/codec/work.go
@@ -10,7 +10,7 @@
 
 // CallToWire maps a call of a submitter.
 func CallToWire(c runner.Call) *wirepb.WorkCall {
-	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: text(c.Host), Path: text(c.Path), Queue: text(c.Queue), Id: text(c.ID)}
+	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: text(c.Host), Path: text(c.Path), Queue: text(c.Queue), Id: text(c.JobID)}
 	if c.Kind == runner.CallSubmit {
 		w.Job = JobToWire(c.Job)
 	}
@@ -25,7 +25,7 @@
 		return runner.Call{}, err
 	}
 	c := runner.Call{
-		Kind: kind, Host: w.GetHost(), Path: w.GetPath(), Queue: jobs.QueueName(w.GetQueue()), ID: jobs.ID(w.GetId()),
+		Kind: kind, Host: w.GetHost(), Path: w.GetPath(), Queue: jobs.QueueName(w.GetQueue()), JobID: jobs.ID(w.GetId()),
 	}
 	if kind == runner.CallSubmit {
 		c.Job, err = JobFromWire(w.GetJob())
@@ -36,8 +36,8 @@
 // WorkAnswerToWire maps the answer to a call.
 func WorkAnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
 	w := &wirepb.WorkAnswer{
-		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Pending),
-		RetryAfterMs: int64(a.Retry), Reason: text(a.Reason), Jobs: list(a.Jobs, jobLineToWire),
+		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
+		RetryAfterMs: int64(a.RetryAfter), Reason: text(a.Reason), Jobs: list(a.Jobs, jobLineToWire),
 	}
 	if a.Report != nil {
 		w.Report = jobReportToWire(*a.Report)
@@ -47,7 +47,7 @@
 
 // WorkAnswerFromWire maps the answer to a call.
 func WorkAnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
-	kind, err := enum("answer", "kind", w.GetKind(), runner.AnswerUnknown)
+	kind, err := enum("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
 	if err != nil {
 		return runner.Answer{}, err
 	}
@@ -56,8 +56,8 @@
 		return runner.Answer{}, err
 	}
 	a := runner.Answer{
-		Kind: kind, Status: status, Pending: int(w.GetPending()),
-		Retry: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
+		Kind: kind, Status: status, Count: int(w.GetPending()),
+		RetryAfter: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
 	}
 	for _, wl := range w.GetJobs() {
 		l, err := jobLineFromWire(wl)
@@ -76,33 +76,33 @@
 	return a, nil
 }
 
-func jobLineToWire(l sched.JobLine) *wirepb.JobLine {
+func jobLineToWire(l sched.JobSummary) *wirepb.JobLine {
 	return &wirepb.JobLine{
-		Id: text(l.ID), Queue: text(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.Accepted), OnTimeMs: int64(l.OnTime),
+		Id: text(l.ID), Queue: text(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.Deadline),
 	}
 }
 
-func jobLineFromWire(w *wirepb.JobLine) (sched.JobLine, error) {
+func jobLineFromWire(w *wirepb.JobLine) (sched.JobSummary, error) {
 	status, err := enum("job", "status", w.GetStatus(), jobs.StatusCancelled)
-	return sched.JobLine{
+	return sched.JobSummary{
 		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Status: status,
-		Accepted: clock.Millis(w.GetAcceptedMs()), OnTime: clock.Millis(w.GetOnTimeMs()),
+		AcceptedAt: clock.Millis(w.GetAcceptedMs()), Deadline: clock.Millis(w.GetOnTimeMs()),
 	}, err
 }
 
 func jobReportToWire(r sched.JobReport) *wirepb.JobReport {
 	return &wirepb.JobReport{
-		Job: jobLineToWire(r.JobLine), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.Ended),
+		Job: jobLineToWire(r.JobSummary), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.EndedAt),
 		Steps: list(r.Steps, func(s sched.StepReport) *wirepb.JobStepReport {
 			return &wirepb.JobStepReport{
 				Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done),
-				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Fails), Limit: text(s.Limit),
+				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: text(s.WaitReason),
 			}
 		}),
 		Runs: list(r.Runs, func(x sched.RunReport) *wirepb.JobRunReport {
 			return &wirepb.JobRunReport{
 				Task: taskToWire(x.Task), Run: int64(x.Run), Worker: text(x.Worker), Percent: int64(x.Percent),
-				StartedMs: int64(x.Started), Stopping: text(x.Stopping),
+				StartedMs: int64(x.StartedAt), Stopping: text(x.StopReason),
 			}
 		}),
 	}
@@ -114,19 +114,19 @@
 		return sched.JobReport{}, err
 	}
 	r := sched.JobReport{
-		JobLine: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), Ended: clock.Millis(w.GetEndedMs()),
+		JobSummary: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), EndedAt: clock.Millis(w.GetEndedMs()),
 	}
 	for _, s := range w.GetSteps() {
 		r.Steps = append(r.Steps, sched.StepReport{
 			Occurrence: int(s.GetOccurrence()), Step: int(s.GetStep()), Tasks: int(s.GetTasks()), Done: int(s.GetDone()),
-			Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Runs: int(s.GetRuns()), Fails: int(s.GetFails()),
-			Limit: sched.Limit(s.GetLimit()),
+			Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Runs: int(s.GetRuns()), Failures: int(s.GetFails()),
+			WaitReason: sched.WaitReason(s.GetLimit()),
 		})
 	}
 	for _, x := range w.GetRuns() {
 		r.Runs = append(r.Runs, sched.RunReport{
 			Task: taskFromWire(x.GetTask()), Run: int(x.GetRun()), Worker: jobs.WorkerID(x.GetWorker()), Percent: int(x.GetPercent()),
-			Started: clock.Millis(x.GetStartedMs()), Stopping: x.GetStopping(),
+			StartedAt: clock.Millis(x.GetStartedMs()), StopReason: x.GetStopping(),
 		})
 	}
 	return r, nil
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/work_test.go
@@ -16,25 +16,25 @@
 // lost between an operator or an entry process and the leader.
 func TestWorkRoundTrip(t *testing.T) {
 	for _, c := range []runner.Call{
-		{Kind: runner.CallSubmit, Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{Count: 1}}}},
-		{Kind: runner.CallExplain, ID: "a"},
+		{Kind: runner.CallSubmit, Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}},
+		{Kind: runner.CallExplain, JobID: "a"},
 		{Kind: runner.CallList, Queue: "q"},
 	} {
 		got, err := CallFromWire(CallToWire(c))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, c, cmpopts.EquateEmpty())
 	}
-	line := sched.JobLine{ID: "a", Queue: "q", Status: jobs.StatusFailed, Accepted: 5, OnTime: 9}
+	line := sched.JobSummary{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
 	for _, a := range []runner.Answer{
-		{Kind: runner.AnswerUnavailable, Retry: 500, Reason: "r"},
-		{Status: jobs.StatusRunning, Pending: 3, Jobs: []sched.JobLine{line}},
+		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
+		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{line}},
 		{Report: &sched.JobReport{
-			JobLine: line, Pool: "p", Now: 7, Ended: 6,
+			JobSummary: line, Pool: "p", Now: 7, EndedAt: 6,
 			Steps: []sched.StepReport{{
-				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Fails: 1, Limit: sched.LimitRoom,
+				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Failures: 1, WaitReason: sched.WaitCapacity,
 			}},
 			Runs: []sched.RunReport{{
-				Task: jobs.Task{Job: "a", Occurrence: 1, Step: 2, Index: 3}, Run: 2, Worker: "w", Percent: 40, Started: 6, Stopping: "s",
+				Task: jobs.TaskID{Job: "a", Occurrence: 1, Step: 2, Index: 3}, Run: 2, Worker: "w", Percent: 40, StartedAt: 6, StopReason: "s",
 			}},
 		}},
 	} {
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -37,7 +37,7 @@
 		i = len(f.names)
 		f.names = append(f.names, name)
 		f.after = append(f.after, nil)
-		f.job.Steps = append(f.job.Steps, jobs.Step{Count: 1})
+		f.job.Steps = append(f.job.Steps, jobs.Step{TaskCount: 1})
 	}
 	return &f.job.Steps[i], &f.after[i]
 }
@@ -47,8 +47,8 @@
 		textKey("job", "id", "", nameRule, "identity of the job; a job that is handed in again under it is the same", func(f *jobFile) *jobs.ID { return &f.job.ID }),
 		textKey("job", "queue", "", nameRule, "queue of the configuration in force", func(f *jobFile) *jobs.QueueName { return &f.job.Queue }),
 		optional(textKey("job", "spec", "", specRule, "passed on to the workers as it is", func(f *jobFile) *string { return &f.job.Spec })),
-		intKey("job", "occurrences", "", "0", 0, maxTimes, "times that the steps run; 0 for once, at once", func(f *jobFile) *int { return &f.job.Times }),
-		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence since 1970", func(f *jobFile) *clock.Millis { return &f.job.First }),
+		intKey("job", "occurrences", "", "0", 0, maxTimes, "times that the steps run; 0 for once, at once", func(f *jobFile) *int { return &f.job.OccurrenceCount }),
+		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence since 1970", func(f *jobFile) *clock.Millis { return &f.job.FirstDue }),
 		intKey("job", "interval-ms", "ms", "0", 0, 366*clock.Day, "time from one occurrence to the next", func(f *jobFile) *clock.Millis { return &f.job.Interval }),
 	}, stepKeys()...)
 }
@@ -57,21 +57,21 @@
 func stepKeys() []Key[jobFile] {
 	const many = 1_000_000
 	return []Key[jobFile]{
-		stepInt("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.Count }),
-		stepInt("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Need.MilliCores }),
-		stepInt("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Need.MemoryMiB }),
-		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Need.Accelerators }),
+		stepInt("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.TaskCount }),
+		stepInt("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
+		stepInt("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
+		stepInt("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
 		stepInt("estimate-ms", "ms", 0, 366*clock.Day, "rough duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
-		stepInt("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.PerWorker }),
-		stepInt("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MayMiss }),
-		stepInt("latency-ms", "ms", 0, clock.Hour, "bound on the tail of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.Latency }),
-		stepFlag("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Saves }),
+		stepInt("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.MaxPerWorker }),
+		stepInt("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
+		stepInt("latency-ms", "ms", 0, clock.Hour, "bound on the tail of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.LatencyTarget }),
+		stepFlag("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Checkpoints }),
 		stepFlag("gang", "tasks work only all together", func(s *jobs.Step) *bool { return &s.Gang }),
 		stepFlag("same-rack", "tasks work faster in one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
-		stepFlag("copies", "several runs of a task may go on at a time", func(s *jobs.Step) *bool { return &s.Copies }),
-		stepFlag("lasting", "tasks run until the job is cancelled", func(s *jobs.Step) *bool { return &s.Lasting }),
-		stepFlag("filler", "tasks take processor time that others leave", func(s *jobs.Step) *bool { return &s.Filler }),
-		stepText("label", "label that a worker must have", func(s *jobs.Step) *string { return &s.Label }),
+		stepFlag("copies", "several runs of a task may go on at a time", func(s *jobs.Step) *bool { return &s.Speculative }),
+		stepFlag("lasting", "tasks run until the job is cancelled", func(s *jobs.Step) *bool { return &s.LongRunning }),
+		stepFlag("filler", "tasks take processor time that others leave", func(s *jobs.Step) *bool { return &s.BestEffort }),
+		stepText("label", "label that a worker must have", func(s *jobs.Step) *string { return &s.RequiredLabel }),
 		stepText("data-rack", "rack of the data", func(s *jobs.Step) *string { return &s.DataRack }),
 		stepText("image", "what the tasks run; tasks of one image behave alike", func(s *jobs.Step) *string { return &s.Image }),
 		{
@@ -125,20 +125,20 @@
 	f := &d.value
 	total := 0
 	for i, names := range f.after {
-		total += f.job.Steps[i].Count
+		total += f.job.Steps[i].TaskCount
 		for _, n := range names {
 			before := slices.Index(f.names, n)
 			if before < 0 || before >= i {
 				d.add("step "+f.names[i], "after", n, "no step further up has this name", join(f.names[:i]))
 				continue
 			}
-			f.job.Steps[i].After = append(f.job.Steps[i].After, before)
+			f.job.Steps[i].DependsOn = append(f.job.Steps[i].DependsOn, before)
 		}
 	}
 	if len(f.job.Steps) == 0 {
 		d.add("step "+family, "", "", "no step", "one section or more, with a key in it")
 	}
-	if total*max(f.job.Times, 1) > jobs.MaxTasks {
-		d.add("job", "", fmt.Sprint(total*max(f.job.Times, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", jobs.MaxTasks))
+	if total*max(f.job.OccurrenceCount, 1) > jobs.MaxTasks {
+		d.add("job", "", fmt.Sprint(total*max(f.job.OccurrenceCount, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", jobs.MaxTasks))
 	}
 }
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -12,17 +12,17 @@
 // adviceTexts says what each action means for the operator; the target is
 // filled in.
 var adviceTexts = map[trail.Action]string{
-	trail.ActionRaiseLimit:    "raise %s in the contract",
-	trail.ActionApplyContract: "apply a contract: %s",
-	trail.ActionAddPool:       "add the pool to the %s",
-	trail.ActionMoreTime:      "allow a longer %s",
-	trail.ActionAddInstances:  "add instances to %s",
-	trail.ActionStartUpstream: "start the upstream of %s",
-	trail.ActionRepair:        "repair the upstream of %s",
-	trail.ActionProcess:       "restart %s or declare it lost",
-	trail.ActionPlatform:      "check the platform for %s",
-	trail.ActionWait:          "wait for %s",
-	trail.ActionInspect:       "look at the limit %s",
+	trail.ActionRaiseLimit:     "raise %s in the contract",
+	trail.ActionApplyContract:  "apply a contract: %s",
+	trail.ActionAddPool:        "add the pool to the %s",
+	trail.ActionAllowMoreTime:  "allow a longer %s",
+	trail.ActionAddInstances:   "add instances to %s",
+	trail.ActionStartUpstream:  "start the upstream of %s",
+	trail.ActionRepairUpstream: "repair the upstream of %s",
+	trail.ActionRestartProcess: "restart %s or declare it lost",
+	trail.ActionCheckPlatform:  "check the platform for %s",
+	trail.ActionWait:           "wait for %s",
+	trail.ActionInspect:        "look at the limit %s",
 }
 
 func adviceText(a trail.Advice) string {
@@ -41,13 +41,13 @@
 func explainText(x trail.Explanation) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s at %s\n", x.Subject, clean(x.Name), timeText(x.Now))
-	if !x.Known {
+	if !x.Found {
 		b.WriteString("neither the present state nor the events kept mention it\n")
 	}
 	if x.Instance.ID != "" {
 		t := newTable("ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "REASON")
 		i := x.Instance
-		t.add(i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.Since), i.Reason)
+		t.add(i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), i.Reason)
 		section(&b, "Present", t)
 	}
 	pools := newTable("POOL", "USE", "PROMISED", "SERVING", "RELEASING", "MAINTENANCE")
@@ -55,13 +55,13 @@
 		pools.add(p.Pool, poolUse(p), p.Promised, p.Serving, p.Releasing, p.Maintenance)
 	}
 	section(&b, "Pools", pools)
-	section(&b, "Limits that bound", boundsTable(x.Bounds))
-	section(&b, "In the way now", blocksTable(x.Blocks))
-	if x.Omitted > 0 {
-		fmt.Fprintf(&b, "\n%d older events are left out\n", x.Omitted)
+	section(&b, "Limits that bound", boundsTable(x.LimitHits))
+	section(&b, "In the way now", blocksTable(x.Obstacles))
+	if x.OmittedEvents > 0 {
+		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
 	}
-	section(&b, "Events", eventsTable(x.Happened))
-	section(&b, "Events of the same instances around it", eventsTable(x.Context))
+	section(&b, "Events", eventsTable(x.Events))
+	section(&b, "Events of the same instances around it", eventsTable(x.RelatedEvents))
 	return b.String()
 }
 
@@ -79,7 +79,7 @@
 	return "work"
 }
 
-func boundsTable(bounds []trail.Bound) *table {
+func boundsTable(bounds []trail.LimitHit) *table {
 	t := newTable("LIMIT", "EVENT", "COUNT", "FIRST", "LAST", "TO-UNBLOCK", "DETAIL")
 	for _, l := range bounds {
 		t.add(l.Limit, l.Kind, l.Count, timeText(l.First.Wall), timeText(l.Last.Wall), adviceText(l.Advice), l.Detail)
@@ -87,7 +87,7 @@
 	return t
 }
 
-func blocksTable(blocks []trail.Block) *table {
+func blocksTable(blocks []trail.Obstacle) *table {
 	t := newTable("OBSTACLE", "CONCERNS", "SINCE", "TO-UNBLOCK")
 	for _, k := range blocks {
 		since := "-"
@@ -100,7 +100,7 @@
 }
 
 // concerns lists the objects of an obstacle.
-func concerns(k trail.Block) string {
+func concerns(k trail.Obstacle) string {
 	var parts []string
 	add := func(name, value string) {
 		if value != "" {
@@ -133,7 +133,7 @@
 }
 
 func explainObject(x trail.Explanation) object {
-	o := object{{"subject", x.Subject}, {"name", x.Name}, {"now-ms", x.Now}, {"known", x.Known}}
+	o := object{{"subject", x.Subject}, {"name", x.Name}, {"now-ms", x.Now}, {"known", x.Found}}
 	if x.Contract.Customer != "" {
 		o = append(o, field{"contract", contractObject(x.Contract)})
 	}
@@ -152,7 +152,7 @@
 				{"maintenance", p.Maintenance},
 			}
 		})},
-		field{"bounds", list(x.Bounds, func(b trail.Bound) object {
+		field{"bounds", list(x.LimitHits, func(b trail.LimitHit) object {
 			return object{
 				{"limit", b.Limit},
 				{"kind", b.Kind},
@@ -163,14 +163,14 @@
 				{"advice", adviceObject(b.Advice)},
 			}
 		})},
-		field{"blocks", list(x.Blocks, blockObject)},
-		field{"omitted", x.Omitted},
-		field{"events", list(x.Happened, eventObject)},
-		field{"context", list(x.Context, eventObject)},
+		field{"blocks", list(x.Obstacles, blockObject)},
+		field{"omitted", x.OmittedEvents},
+		field{"events", list(x.Events, eventObject)},
+		field{"context", list(x.RelatedEvents, eventObject)},
 	)
 }
 
-func blockObject(k trail.Block) object {
+func blockObject(k trail.Obstacle) object {
 	return object{
 		{"kind", k.Kind},
 		{"instance", k.Instance},
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -10,19 +10,19 @@
 )
 
 // limitTexts says what each limit on waiting tasks means, and what would help.
-var limitTexts = map[sched.Limit]string{
-	sched.LimitTime:      "the occurrence is not due yet",
-	sched.LimitSteps:     "an earlier step is not done",
-	sched.LimitWorkers:   "no worker of the pool was heard lately: add machines to the pool or start their workers",
-	sched.LimitLabel:     "no worker of the pool has the required label: add such a machine",
-	sched.LimitSize:      "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
-	sched.LimitLeaving:   "the workers drain, or their machines are to be maintained or moved: wait, or add machines",
-	sched.LimitAside:     "the workers are set aside because tasks fail on them: repair them, or wait until they are tried again",
-	sched.LimitAdvice:    "the advice service has not named a worker: look for advice lines in the leader's log",
-	sched.LimitPerWorker: "each worker runs as many tasks of the step as it may: add machines",
-	sched.LimitRoom:      "other tasks take the workers' room: wait, or add machines",
-	sched.LimitGang:      "there is room for some tasks of the gang and not for all: wait, or add machines",
-	sched.LimitHeartbeat: "a worker may take a task at its next heartbeat",
+var limitTexts = map[sched.WaitReason]string{
+	sched.WaitNotDue:       "the occurrence is not due yet",
+	sched.WaitDependencies: "an earlier step is not done",
+	sched.WaitNoWorkers:    "no worker of the pool was heard lately: add machines to the pool or start their workers",
+	sched.WaitLabel:        "no worker of the pool has the required label: add such a machine",
+	sched.WaitSize:         "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
+	sched.WaitLeaving:      "the workers drain, or their machines are to be maintained or moved: wait, or add machines",
+	sched.WaitQuarantine:   "the workers are set aside because tasks fail on them: repair them, or wait until they are tried again",
+	sched.WaitAdvice:       "the advice service has not named a worker: look for advice lines in the leader's log",
+	sched.WaitPerWorker:    "each worker runs as many tasks of the step as it may: add machines",
+	sched.WaitCapacity:     "other tasks take the workers' room: wait, or add machines",
+	sched.WaitGang:         "there is room for some tasks of the gang and not for all: wait, or add machines",
+	sched.WaitHeartbeat:    "a worker may take a task at its next heartbeat",
 }
 
 // JobStatus writes the state of a job.
@@ -34,11 +34,11 @@
 
 // Jobs writes a list of jobs that have not ended, which may be a part of all of
 // them.
-func Jobs(w io.Writer, f Format, lines []sched.JobLine, total int) error {
+func Jobs(w io.Writer, f Format, lines []sched.JobSummary, total int) error {
 	return render(w, "report jobs", f, func() string {
 		t := newTable("ID", "QUEUE", "STATUS", "ACCEPTED", "ON-TIME-UNTIL")
 		for _, l := range lines {
-			t.add(l.ID, l.Queue, l.Status, timeText(l.Accepted), timeText(l.OnTime))
+			t.add(l.ID, l.Queue, l.Status, timeText(l.AcceptedAt), timeText(l.Deadline))
 		}
 		return t.String() + fmt.Sprintf("%d shown, %d not ended in all queues\n", len(lines), total)
 	}, func() any {
@@ -46,9 +46,9 @@
 	})
 }
 
-func jobLineObject(l sched.JobLine) object {
+func jobLineObject(l sched.JobSummary) object {
 	return object{
-		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.Accepted}, {"on-time-until-ms", l.OnTime},
+		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.AcceptedAt}, {"on-time-until-ms", l.Deadline},
 	}
 }
 
@@ -61,19 +61,19 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s of queue %s is %s at %s\n", clean(string(r.ID)), clean(string(r.Queue)), r.Status, timeText(r.Now))
 	fmt.Fprintf(&b, "accepted %s, on time until %s, ended %s, runs in pool %s\n",
-		timeText(r.Accepted), timeText(r.OnTime), timeText(r.Ended), clean(string(r.Pool)))
+		timeText(r.AcceptedAt), timeText(r.Deadline), timeText(r.EndedAt), clean(string(r.Pool)))
 	steps := newTable("OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "RUNS", "FAILED", "WAITS-FOR")
 	var why []string
 	for _, s := range r.Steps {
-		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Fails, s.Limit)
-		if s.Limit != sched.LimitNone {
-			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.Limit)))
+		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.WaitReason)
+		if s.WaitReason != sched.WaitNone {
+			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.WaitReason)))
 		}
 	}
 	section(&b, "Steps", steps)
 	runs := newTable("OCCURRENCE", "STEP", "INDEX", "RUN", "WORKER", "PERCENT", "SINCE", "STOPPING")
 	for _, x := range r.Runs {
-		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.Started), x.Stopping)
+		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.StartedAt), x.StopReason)
 	}
 	section(&b, "Running", runs)
 	if len(why) > 0 {
@@ -82,7 +82,7 @@
 	return b.String()
 }
 
-func limitText(l sched.Limit) string {
+func limitText(l sched.WaitReason) string {
 	if text, ok := limitTexts[l]; ok {
 		return text
 	}
@@ -90,10 +90,10 @@
 }
 
 func jobObject(r sched.JobReport) object {
-	return append(jobLineObject(r.JobLine), object{
+	return append(jobLineObject(r.JobSummary), object{
 		{"pool", r.Pool},
 		{"now-ms", r.Now},
-		{"ended-ms", r.Ended},
+		{"ended-ms", r.EndedAt},
 		{"steps", list(r.Steps, func(s sched.StepReport) object {
 			return object{
 				{"occurrence", s.Occurrence},
@@ -103,8 +103,8 @@
 				{"running", s.Running},
 				{"waiting", s.Waiting},
 				{"runs", s.Runs},
-				{"failed", s.Fails},
-				{"waits-for", s.Limit},
+				{"failed", s.Failures},
+				{"waits-for", s.WaitReason},
 			}
 		})},
 		{"running", list(r.Runs, func(x sched.RunReport) object {
@@ -115,8 +115,8 @@
 				{"run", x.Run},
 				{"worker", x.Worker},
 				{"percent", x.Percent},
-				{"started-ms", x.Started},
-				{"stopping", x.Stopping},
+				{"started-ms", x.StartedAt},
+				{"stopping", x.StopReason},
 			}
 		})},
 	}...)
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -100,7 +100,7 @@
 	return render(w, "report instances", f, func() string {
 		t := newTable("INSTANCE", "ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "MAINTAINED", "SLOTS", "VERSION", "REASON")
 		for _, i := range picked {
-			t.add(i.ID, i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.Since), timeText(i.Maintained), i.Slots, i.Version, i.Reason)
+			t.add(i.ID, i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), timeText(i.MaintainedAt), i.Slots, i.Version, i.Reason)
 		}
 		return t.String()
 	}, func() any { return object{{"instances", list(picked, instanceObject)}} })
@@ -120,7 +120,7 @@
 		}
 		p.selected++
 		switch {
-		case i.Maintained >= m.Declared:
+		case i.MaintainedAt >= m.DeclaredAt:
 			p.maintained++
 		case i.Phase == model.PhaseMaintenance || i.Phase == model.PhaseReleasing && i.Target == i.Pool:
 			p.underWay++
@@ -152,7 +152,7 @@
 		t := newTable("NAME", "SELECTOR", "DECLARED", "DEADLINE", "OVERDUE", "SELECTED", "MAINTAINED", "UNDER-WAY", "VERSION")
 		for _, m := range declared {
 			p := progressOf(m, s)
-			t.add(m.Name, selectorText(m.Selector), timeText(m.Declared), timeText(m.Deadline), yes(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
+			t.add(m.Name, selectorText(m.Selector), timeText(m.DeclaredAt), timeText(m.Deadline), yes(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
 		}
 		return t.String()
 	}, func() any {
@@ -176,7 +176,7 @@
 }
 
 func silent(s Status, p ProcessStatus) bool {
-	return p.Seen == 0 || s.Now-p.Seen > trail.SilentAfter
+	return p.Seen == 0 || s.Now-p.Seen > trail.ReportTimeout
 }
 
 // Overview writes the status: the control member asked, and which process
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measure.go
@@ -18,27 +18,27 @@
 func measuresText(m trail.Measures) string {
 	var b strings.Builder
 	t := newTable("MEASURE", "VALUE")
-	t.add("changes in the time line", len(m.Changes))
-	t.add("roll-out of a change, median", millisText(m.Median))
-	t.add("roll-out of a change, worst", millisText(m.Worst))
+	t.add("changes in the time line", len(m.Rollouts))
+	t.add("roll-out of a change, median", millisText(m.MedianRollout))
+	t.add("roll-out of a change, worst", millisText(m.LongestRollout))
 	t.add("moves", m.Moves)
-	t.add("maintained", m.Maintained)
-	t.add("idle instances", m.Idle)
+	t.add("maintained", m.FinishedMaintenances)
+	t.add("idle instances", m.IdleInstances)
 	b.WriteString(t.String())
 	waves := newTable("WAVE", "DONE", "OF", "ELAPSED")
 	for _, x := range m.Waves {
-		waves.add(x.Name, x.Done, x.All, spanText(x.Elapsed))
+		waves.add(x.Name, x.Maintained, x.Selected, spanText(x.Elapsed))
 	}
 	if len(m.Waves) > 0 {
 		section(&b, "Waves", waves)
 	}
 	open := newTable("VERSION", "MISSING")
-	for _, r := range m.Changes {
+	for _, r := range m.Rollouts {
 		if len(r.Missing) > 0 {
 			open.add(r.Version, names(r.Missing))
 		}
 	}
-	if len(m.Changes) > 0 && m.Changes[len(m.Changes)-1].Missing != nil {
+	if len(m.Rollouts) > 0 && m.Rollouts[len(m.Rollouts)-1].Missing != nil {
 		section(&b, "Changes that are not in force everywhere", open)
 	}
 	return b.String()
@@ -56,16 +56,16 @@
 
 func measuresObject(m trail.Measures) object {
 	return object{
-		{"changes", list(m.Changes, func(r trail.Rollout) object {
+		{"changes", list(m.Rollouts, func(r trail.Rollout) object {
 			return object{{"version", r.Version}, {"elapsed-ms", r.Elapsed}, {"missing", names(r.Missing)}}
 		})},
-		{"roll-out-median-ms", m.Median},
-		{"roll-out-worst-ms", m.Worst},
+		{"roll-out-median-ms", m.MedianRollout},
+		{"roll-out-worst-ms", m.LongestRollout},
 		{"moves", m.Moves},
-		{"maintained", m.Maintained},
+		{"maintained", m.FinishedMaintenances},
 		{"waves", list(m.Waves, func(x trail.Wave) object {
-			return object{{"wave", x.Name}, {"done", x.Done}, {"of", x.All}, {"elapsed-ms", x.Elapsed}}
+			return object{{"wave", x.Name}, {"done", x.Maintained}, {"of", x.Selected}, {"elapsed-ms", x.Elapsed}}
 		})},
-		{"idle-instances", m.Idle},
+		{"idle-instances", m.IdleInstances},
 	}
 }
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -40,8 +40,8 @@
 		{"slots", i.Slots},
 		{"connections", i.Connections},
 		{"reason", i.Reason},
-		{"maintained-ms", i.Maintained},
-		{"since-ms", i.Since},
+		{"maintained-ms", i.MaintainedAt},
+		{"since-ms", i.PhaseSince},
 		{"version", i.Version},
 	}
 }
@@ -55,7 +55,7 @@
 			{"rack", m.Selector.Rack},
 			{"instance", m.Selector.Instance},
 		}},
-		{"declared-ms", m.Declared},
+		{"declared-ms", m.DeclaredAt},
 		{"deadline-ms", m.Deadline},
 		{"selected", p.selected},
 		{"maintained", p.maintained},
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -41,12 +41,12 @@
 			},
 		},
 		Instances: []model.Instance{
-			{ID: "i2", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Phase: model.PhaseReleasing, Slots: 8, Connections: 64, Reason: "maintenance kernel", Since: start - 5000, Version: 118},
-			{ID: "i1", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Slots: 8, Maintained: start - 1000, Since: start - 1000, Version: 101, Reason: "returned\nfrom \x1b[31mmaintenance"},
+			{ID: "i2", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Phase: model.PhaseReleasing, Slots: 8, Connections: 64, Reason: "maintenance kernel", PhaseSince: start - 5000, Version: 118},
+			{ID: "i1", Zone: "zone-a", Rack: "a-1", Pool: "log", Target: "log", Slots: 8, MaintainedAt: start - 1000, PhaseSince: start - 1000, Version: 101, Reason: "returned\nfrom \x1b[31mmaintenance"},
 		},
 		Maintenance: []model.Maintenance{
-			{Name: "kernel", Selector: model.Selector{Pool: "log", Zone: "zone-a"}, Declared: start - clock.Hour, Deadline: start - 1, Version: 90},
-			{Name: "all", Declared: start, Deadline: start + clock.Day, Version: 91},
+			{Name: "kernel", Selector: model.Selector{Pool: "log", Zone: "zone-a"}, DeclaredAt: start - clock.Hour, Deadline: start - 1, Version: 90},
+			{Name: "all", DeclaredAt: start, Deadline: start + clock.Day, Version: 91},
 		},
 		Processes: []report.ProcessStatus{
 			{Name: "e2", Zone: "zone-b", Version: 110, Drained: 110, Since: start - clock.Hour, Seen: start - 10*clock.Second, Incarnation: 3},
@@ -78,8 +78,8 @@
 	return out
 }
 
-func objects(s report.Status) trail.Objects {
-	o := trail.Objects{
+func objects(s report.Status) trail.CurrentState {
+	o := trail.CurrentState{
 		Now: s.Now, Contracts: map[model.Customer]model.Contract{}, Instances: map[model.InstanceID]model.Instance{},
 		Maintenance: map[string]model.Maintenance{},
 	}
@@ -93,21 +93,21 @@
 		o.Maintenance[m.Name] = m
 	}
 	for _, p := range s.Processes {
-		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, Drained: p.Drained, Seen: p.Seen})
+		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, DrainedVersion: p.Drained, LastReport: p.Seen})
 	}
 	return o
 }
 
 func job() sched.JobReport {
 	return sched.JobReport{
-		JobLine: sched.JobLine{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, Accepted: start - 4000, OnTime: start + 2500},
-		Pool:    "log", Now: start,
+		JobSummary: sched.JobSummary{ID: "j-1", Queue: "q\x1b[31m", Status: jobs.StatusRunning, AcceptedAt: start - 4000, Deadline: start + 2500},
+		Pool:       "log", Now: start,
 		Steps: []sched.StepReport{
-			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Fails: 1, Limit: sched.LimitRoom},
-			{Step: 1, Tasks: 2, Waiting: 2, Limit: sched.LimitSteps},
+			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Failures: 1, WaitReason: sched.WaitCapacity},
+			{Step: 1, Tasks: 2, Waiting: 2, WaitReason: sched.WaitDependencies},
 		},
 		Runs: []sched.RunReport{{
-			Task: jobs.Task{Job: "j-1", Index: 2}, Run: 2, Worker: "i-7", Percent: 40, Started: start - 700, Stopping: "it makes no progress",
+			Task: jobs.TaskID{Job: "j-1", Index: 2}, Run: 2, Worker: "i-7", Percent: 40, StartedAt: start - 700, StopReason: "it makes no progress",
 		}},
 	}
 }
@@ -136,7 +136,7 @@
 		"job":         func(w io.Writer, f report.Format) error { return report.Job(w, f, job()) },
 		"job-status":  func(w io.Writer, f report.Format) error { return report.JobStatus(w, f, "j-1", jobs.StatusRunning) },
 		"jobs": func(w io.Writer, f report.Format) error {
-			return report.Jobs(w, f, []sched.JobLine{job().JobLine, {ID: "j-2", Queue: "q", Accepted: start}}, 7)
+			return report.Jobs(w, f, []sched.JobSummary{job().JobSummary, {ID: "j-2", Queue: "q", AcceptedAt: start}}, 7)
 		},
 		"unknown": explain(trail.ExplainRequest(o, events(), "r-9")),
 	}
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -23,7 +23,7 @@
 	switch {
 	case err != nil:
 		return failed(op, err)
-	case a.Kind == runner.AnswerUnknown:
+	case a.Kind == runner.AnswerOutcomeUnknown:
 		return failed(op, fmt.Errorf("it may be done, run the command again: %s", a.Reason))
 	case a.Kind != runner.AnswerDone:
 		return failed(op, fmt.Errorf("%s: %s", a.Kind, a.Reason))
@@ -41,31 +41,31 @@
 	if err != nil {
 		return err
 	}
-	return work(o, "job submit", runner.Call{Kind: runner.CallSubmit, Queue: j.Queue, ID: j.ID, Job: j}, printStatus(o, out, j.ID))
+	return work(o, "job submit", runner.Call{Kind: runner.CallSubmit, Queue: j.Queue, JobID: j.ID, Job: j}, printStatus(o, out, j.ID))
 }
 
 func getJob(o *options, out io.Writer) error {
 	id := jobs.ID(o.name)
-	return work(o, "job get", runner.Call{Kind: runner.CallStatus, ID: id}, printStatus(o, out, id))
+	return work(o, "job get", runner.Call{Kind: runner.CallStatus, JobID: id}, printStatus(o, out, id))
 }
 
 func cancelJob(o *options, out io.Writer) error {
 	id := jobs.ID(o.name)
-	return work(o, "job cancel", runner.Call{Kind: runner.CallCancel, ID: id}, printStatus(o, out, id))
+	return work(o, "job cancel", runner.Call{Kind: runner.CallCancel, JobID: id}, printStatus(o, out, id))
 }
 
 func listJobs(o *options, out io.Writer) error {
 	return work(o, "job list", runner.Call{Kind: runner.CallList}, func(a runner.Answer) error {
 		lines := a.Jobs
 		if o.queue != "" {
-			lines = slices.DeleteFunc(lines, func(l sched.JobLine) bool { return l.Queue != jobs.QueueName(o.queue) })
+			lines = slices.DeleteFunc(lines, func(l sched.JobSummary) bool { return l.Queue != jobs.QueueName(o.queue) })
 		}
-		return report.Jobs(out, o.format(), lines, a.Pending)
+		return report.Jobs(out, o.format(), lines, a.Count)
 	})
 }
 
 func explainJob(o *options, out io.Writer) error {
-	return work(o, "explain", runner.Call{Kind: runner.CallExplain, ID: jobs.ID(o.name)}, func(a runner.Answer) error {
+	return work(o, "explain", runner.Call{Kind: runner.CallExplain, JobID: jobs.ID(o.name)}, func(a runner.Answer) error {
 		return report.Job(out, o.format(), *a.Report)
 	})
 }
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -24,7 +24,7 @@
 // after what it read.
 type stamps struct {
 	clock  clock.Clock
-	hybrid trail.Hybrid
+	hybrid trail.HybridClock
 }
 
 func (s *stamps) Next() model.Stamp { return s.hybrid.Next(s.clock.Now()) }
@@ -177,15 +177,15 @@
 		if err := report.Explain(out, o.format(), x); err != nil {
 			return failed("explain", err)
 		}
-		if !x.Known {
+		if !x.Found {
 			return failed("explain", errors.New("nothing is known of "+o.kind+" "+o.name))
 		}
 		return nil
 	})
 }
 
-func objectsOf(v peers.Overview) trail.Objects {
-	x := trail.Objects{
+func objectsOf(v peers.Overview) trail.CurrentState {
+	x := trail.CurrentState{
 		Now:         v.Status.Now,
 		Contracts:   map[model.Customer]model.Contract{},
 		Instances:   map[model.InstanceID]model.Instance{},
@@ -207,7 +207,7 @@
 	for _, m := range v.Entries {
 		s := seen[m.Name]
 		x.Processes = append(x.Processes, trail.Process{
-			Name: m.Name, Zone: m.Zone, Version: s.Version, Drained: s.Drained, Seen: s.Seen,
+			Name: m.Name, Zone: m.Zone, Version: s.Version, DrainedVersion: s.Drained, LastReport: s.Seen,
 		})
 	}
 	return x
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -20,7 +20,7 @@
 	"gotest.tools/v3/assert"
 )
 
-type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
+type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // claims is an in-memory Claimer.
 type claims struct {
@@ -36,7 +36,7 @@
 		return model.ClaimAnswer{}, c.err
 	}
 	if o, ok := c.held[k]; ok {
-		return model.ClaimAnswer{First: o.State, Status: o.Status}, nil
+		return model.ClaimAnswer{FirstState: o.State, Status: o.Status}, nil
 	}
 	c.held[k] = model.ClaimOutcome{Key: k, Token: token}
 	return model.ClaimAnswer{Granted: true}, nil
@@ -84,9 +84,9 @@
 	g := &rig{claims: &claims{held: map[model.ClaimKey]model.ClaimOutcome{}}}
 	g.gate = entry.New(entry.Settings{
 		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
-		Lending: lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, Hold: clock.Minute, ReservePercent: 25},
-		Orders:  ring.New[lend.Order](16),
-	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+		Lending:      lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
+		LoanMessages: ring.New[lend.Message](16),
+	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	g.link = uplink.New(uplink.Defaults(), clk)
 	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
 	ended := make(chan struct{}, 2)
@@ -96,7 +96,7 @@
 	for i := range addresses {
 		d.Instances = append(d.Instances, model.Instance{ID: id(i), Zone: self.Zone, Pool: "svc", Slots: slots, Connections: 64, Version: 1})
 	}
-	assert.NilError(t, g.gate.Table(d))
+	assert.NilError(t, g.gate.ApplyDelta(d))
 	for i, a := range addresses {
 		g.announce(t, i, a, slots)
 	}
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -141,12 +141,12 @@
 }
 
 // Lend asks an entry process for loans of slots.
-func (c *Client) Lend(ctx context.Context, m model.Member, a lend.Ask) (lend.Answer, error) {
+func (c *Client) Lend(ctx context.Context, m model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
 	req := codec.AskToWire(a)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Lend(ctx, req)
 	if err != nil {
-		return lend.Answer{}, c.failed("ask "+string(m.Name)+" for loans", err)
+		return lend.LoanResponse{}, c.failed("ask "+string(m.Name)+" for loans", err)
 	}
 	c.observe(resp.GetStamp())
 	return codec.AnswerFromWire(resp)
@@ -205,13 +205,13 @@
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, &wirepb.PoolDemand{
 			Pool: string(d.Pool), Running: int64(d.Running), Waiting: int64(d.Waiting),
-			Refused: int64(d.Refused), TypicalMs: int64(d.Typical),
+			Refused: int64(d.Refused), TypicalMs: int64(d.TypicalRunTime),
 		})
 	}
-	for _, c := range r.Felt.Customers {
-		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Asks, Suffered: c.Suffered})
+	for _, c := range r.Load.Customers {
+		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Requests, Suffered: c.Impaired})
 	}
-	for _, i := range r.Felt.Instances {
+	for _, i := range r.Load.Instances {
 		w.Tallies = append(w.Tallies, &wirepb.InstanceTally{Instance: string(i.Instance), Calls: i.Calls, Failures: i.Failures})
 	}
 	return w
@@ -236,16 +236,16 @@
 	for _, d := range w.GetDemand() {
 		r.Demand = append(r.Demand, model.PoolDemand{
 			Pool: model.Pool(d.GetPool()), Running: int(d.GetRunning()), Waiting: int(d.GetWaiting()),
-			Refused: int(d.GetRefused()), Typical: clock.Millis(d.GetTypicalMs()),
+			Refused: int(d.GetRefused()), TypicalRunTime: clock.Millis(d.GetTypicalMs()),
 		})
 	}
 	for _, c := range w.GetCustomers() {
-		r.Felt.Customers = append(r.Felt.Customers, model.CustomerFelt{
-			Customer: model.Customer(c.GetCustomer()), Asks: c.GetAsks(), Suffered: c.GetSuffered(),
+		r.Load.Customers = append(r.Load.Customers, model.CustomerLoad{
+			Customer: model.Customer(c.GetCustomer()), Requests: c.GetAsks(), Impaired: c.GetSuffered(),
 		})
 	}
 	for _, i := range w.GetTallies() {
-		r.Felt.Instances = append(r.Felt.Instances, model.InstanceTally{
+		r.Load.Instances = append(r.Load.Instances, model.InstanceTally{
 			Instance: model.InstanceID(i.GetInstance()), Calls: i.GetCalls(), Failures: i.GetFailures(),
 		})
 	}
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -252,13 +252,13 @@
 	for _, p := range st.Processes {
 		w.Processes = append(w.Processes, &wirepb.ProcessStatus{
 			Name: string(p.Process), Zone: string(p.Zone), Version: uint64(p.Version),
-			Drained: uint64(p.Drained), SinceMs: int64(p.Since), SeenMs: int64(p.Seen),
+			Drained: uint64(p.Drained), SinceMs: int64(p.VersionSince), SeenMs: int64(p.LastReportAt),
 			Incarnation: p.Incarnation,
 		})
 	}
 	for _, x := range st.Waits {
 		ww := &wirepb.Wait{Instance: string(x.Instance), SinceMs: int64(x.Since), Reason: x.Reason}
-		for _, p := range x.For {
+		for _, p := range x.Unconfirmed {
 			ww.For = append(ww.For, string(p))
 		}
 		w.Waits = append(w.Waits, ww)
--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -18,8 +18,8 @@
 
 func newChecker(cfg conf.Control, c clock.Clock) *checker {
 	return &checker{clock: c, set: limits.Settings{
-		MaintainMillis: cfg.Maintenance.StepMillis,
-		PeriodMillis:   clock.Millis(cfg.Maintenance.PeriodDays) * clock.Day,
+		MaintenanceMillis: cfg.Maintenance.StepMillis,
+		PeriodMillis:      clock.Millis(cfg.Maintenance.PeriodDays) * clock.Day,
 	}}
 }
 
@@ -29,7 +29,7 @@
 	if c.Kind != model.ChangeContractApply {
 		return "", ""
 	}
-	q := limits.Question{
+	q := limits.Input{
 		Contract: c.Contract,
 		Fleet:    limits.NewFleet(s.Instances, model.Quota{}),
 		Now:      k.clock.Now(),
@@ -40,7 +40,7 @@
 	for _, m := range s.Maintenance {
 		q.Declarations = append(q.Declarations, m)
 	}
-	v := limits.Judge(limits.Stated{}, limits.LowestSlots{}, k.set, q)
+	v := limits.Evaluate(limits.RefuseImpossible{}, limits.MinSlots{}, k.set, q)
 	if err := v.Err(); err != nil {
 		return err.Error(), ""
 	}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -29,10 +29,10 @@
 // The policies of the product: a wave stops when what it touched fails
 // significantly more than its peers, and slows down by what callers feel.
 type (
-	disk       = store.Store[codec.Codec, store.Disk]
-	moverDuty  = mover.Mover[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
-	moverParts = mover.Parts[*seat, *platform, maint.Deadline, maint.Score, plan.Balance, plan.Cheapest]
-	keeperDuty = boot.Keeper[*peers.Client, *seat]
+	disk       = store.Store[codec.Codec, store.OSFileSystem]
+	moverDuty  = mover.Mover[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	moverParts = mover.Config[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	keeperDuty = boot.MembershipManager[*peers.Client, *seat]
 )
 
 // Pressure in permille at which waves slow down and halt, and the score at
@@ -107,7 +107,7 @@
 	if self.Address == "" {
 		self.Zone, self.Address = cfg.Zone, cfg.Listen.Peers
 	}
-	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.Disk]{
+	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.OSFileSystem]{
 		Self:         raft.Member{Name: self.Name, Zone: self.Zone, Address: self.Address},
 		SegmentBytes: cfg.Consensus.SegmentBytes,
 	})
@@ -120,9 +120,9 @@
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
 	c.member = newSeat(hello, c.senders)
-	c.keeper = boot.NewKeeper(boot.KeeperParts[*peers.Client, *seat]{
+	c.keeper = boot.NewMembershipManager(boot.Config[*peers.Client, *seat]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
-		Configured: cfg.Controls, Size: max(cfg.GroupSize, len(cfg.Controls)), Asker: c.client, Group: c.member, Clock: clk,
+		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Asker: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
 			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " under a new identity"})
 		},
@@ -130,31 +130,31 @@
 			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which was not heard", id)})
 		},
 	})
-	board := mover.NewBoard(maint.Deadline{Slow: slowPermille, Halt: haltPermille},
-		maint.Score{Z: stopScore, Least: stopLeast}, waveSettings(cfg.Maintenance))
-	capacity := mover.NewCapacity(plan.Balance{}, plan.Settings{ExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
+	board := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
+		maint.ZTest{Z: stopScore, MinFailures: stopLeast}, waveSettings(cfg.Maintenance))
+	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
 		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
-		Board: board, Capacity: capacity, Clock: clk, Events: c.record,
+		Waves: board, Capacity: capacity, Clock: clk, Events: c.record,
 	})
 	return c, nil
 }
 
-func initialised(s raft.Stored) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
+func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
 // surges prefers what the operator gives the most weight to.
-func surges(cfg conf.Control) *mover.Surges[plan.Cheapest] {
+func surges(cfg conf.Control) *mover.SurgePlanner[plan.Cheapest] {
 	w := plan.RolloutFirst()
 	if cfg.SurgePreference == "buffer-cost" {
 		w = plan.BufferFirst()
 	}
-	w.Keep = cfg.SurgeKeep
-	return mover.NewSurges(plan.Cheapest{}, w, cfg.SurgePreference != "off")
+	w.MinSpare = cfg.SurgeKeep
+	return mover.NewSurgePlanner(plan.Cheapest{}, w, cfg.SurgePreference != "off")
 }
 
 func waveSettings(m conf.Maintenance) maint.Settings {
 	s := maint.Defaults()
-	s.StepMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
+	s.MaintenanceMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
 	s.PeriodMillis = clock.Millis(m.PeriodDays) * clock.Day
 	s.MarginMillis = clock.Millis(m.MarginDays) * clock.Day
 	return s
@@ -231,12 +231,12 @@
 	}
 	counters(r, []counter{
 		{"proposals", consensusCount(func(n group.Counts) int64 { return n.Proposals })},
-		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.Saves })},
+		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.LogWrites })},
 		{"log-write-failures", consensusCount(func(n group.Counts) int64 { return n.DiskFailures })},
 		{"snapshots", consensusCount(func(n group.Counts) int64 { return n.Snapshots })},
 		{"snapshot-failures", consensusCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
-		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.Unknown })},
-		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.Refused })},
+		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
+		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.RefusedInputs })},
 	})
 	_ = admin.Value(r, "leader", func() int64 {
 		if _, ok := c.member.Leads(); ok {
