--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -44,7 +44,7 @@
 const lameDuck = clock.Second
 
 // dispatcher is the dispatcher with the policies of the product.
-type dispatcher = entry.Dispatcher[admit.Fair, route.LeastLoaded, lend.Idle]
+type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // Entry is a running entry process.
 type Entry struct {
@@ -56,9 +56,9 @@
 	client   *peers.Client
 	poller   *follow.Poller[*peers.Client]
 	reporter *follow.Reporter[*peers.Leader]
-	roster   *roster.Roster[*peers.Client]
+	roster   *roster.Forwarder[*peers.Client]
 	claimer  *claim.Claimer[*peers.Leader]
-	lender   *lender.Lender[*peers.Client, *dispatcher, *uplink.Link]
+	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Link]
 	link     *uplink.Link
 	timed    *timed
 	front    *front.Front[*timed, *claim.Claimer[*peers.Leader]]
@@ -95,19 +95,19 @@
 	e.client = peers.NewClient(cfg.Name, e.recorder)
 	leader := peers.NewLeader(e.client, cfg.Controls, clk)
 	incarnation := uint64(clk.Now())
-	orders := ring.New[lend.Order](orderRing)
+	orders := ring.New[lend.Message](orderRing)
 	e.dispatch = entry.New(entry.Settings{
 		Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries,
-		Ring: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events, Orders: orders,
+		RingSize: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events, LoanMessages: orders,
 		Lending: lend.Settings{
 			Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries, Incarnation: incarnation,
-			Lease: cfg.Lending.LeaseMillis, Hold: cfg.Limits.MaxTimeoutMillis,
+			Lease: cfg.Lending.LeaseMillis, MaxRequestTime: cfg.Limits.MaxTimeoutMillis,
 			ReservePercent: cfg.Lending.ReservePercent,
 		},
-	}, clk, admit.Fair{}, route.LeastLoaded{}, lend.Idle{})
+	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
-	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.Felt, e.dispatch.Demand, clk)
+	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.LoadReport, e.dispatch.Demand, clk)
 	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, incarnation, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
@@ -138,7 +138,7 @@
 
 // offer puts a delta in force and adds the new version to the time line.
 func (e *Entry) offer(d model.Delta) error {
-	if err := e.dispatch.Table(d); err != nil {
+	if err := e.dispatch.ApplyDelta(d); err != nil {
 		return err
 	}
 	if d.To > e.poller.Version() {
@@ -149,7 +149,7 @@
 
 func (e *Entry) status() follow.Status {
 	return follow.Status{
-		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.Live,
+		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.LiveAnnouncements,
 	}
 }
 
@@ -171,7 +171,7 @@
 	if v == 0 || from >= v {
 		return model.Delta{From: from, To: from}, v > 0
 	}
-	return fullDelta(e.dispatch.Configuration()), true
+	return fullDelta(e.dispatch.Table()), true
 }
 
 // serve listens and adds all parts in the order in which they stop: callers
@@ -241,7 +241,7 @@
 		Hear: func(a model.Announcement) {
 			// A refused announcement was refused to the upstream itself as well, or
 			// was overtaken by a newer one.
-			_ = e.dispatch.Hear(member.Heard{Announcement: a})
+			_ = e.dispatch.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a})
 		},
 		Lender: e.dispatch,
 		Stamps: e.recorder,
@@ -291,14 +291,14 @@
 		{"requests-duplicate", func() int64 { return e.front.Counts().Duplicate }},
 		{"requests-aborted", func() int64 { return e.front.Counts().Aborted }},
 		{"requests-retried", func() int64 { return e.front.Counts().Retries }},
-		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingFull }},
+		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingRefused }},
 		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
 		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
 		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
-		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Asked }},
+		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Requested }},
 		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
-		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Given }},
-		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Taken }},
+		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Granted }},
+		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Received }},
 		{"loans-expired", func() int64 { return e.dispatch.Snapshot().Loans.Expired }},
 		{"loans-requests", func() int64 { return e.dispatch.Snapshot().Loans.Used }},
 		{"loans-not-sent", e.lender.Refused},
@@ -313,8 +313,8 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	counters(r, usage(e.client.Traffic))
-	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.Lent })
-	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.Held })
+	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
+	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
 	_ = r.Register("request-wait-ms", e.timed.wait)
 	_ = r.Register("request-elapsed-ms", e.timed.elapsed)
 	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -38,9 +38,9 @@
 	c := f.c
 	stored := c.disk.Stored()
 	if !initialised(stored) {
-		plan, members := boot.Wait(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
+		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
 		switch plan {
-		case boot.PlanAskAgain:
+		case boot.PlanRetry:
 			return nil
 		case boot.PlanForm:
 			if err := f.form(&stored, members); err != nil {
@@ -84,7 +84,7 @@
 
 // form writes the first snapshot. The term starts at that of the snapshot, so
 // that the first leader's term is above it.
-func (f *formation) form(stored *raft.Stored, members []raft.Member) error {
+func (f *formation) form(stored *raft.StoredState, members []raft.Member) error {
 	stored.Snapshot = raft.SnapshotMeta{Index: firstIndex, Term: firstIndex, Members: members}
 	stored.Hard = raft.HardState{Term: firstIndex, Commit: firstIndex}
 	s := fleet.New()
@@ -118,7 +118,7 @@
 			MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
 			Seed: h.Sum64() + uint64(f.c.clock.Now()),
 		},
-		Tick: consensusTick, Ring: consensusRing, MaxWaiting: maxWaiting,
+		TickInterval: consensusTick, RingCapacity: consensusRing, MaxPending: maxWaiting,
 		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetry,
 		Send: f.c.senders.Send, Observe: f.observe,
 	}
@@ -134,7 +134,7 @@
 			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
 		})
 	}
-	if s.Disk != "" && (before == nil || before.Disk == "") {
-		f.c.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.Disk})
+	if s.DiskError != "" && (before == nil || before.DiskError == "") {
+		f.c.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
 	}
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -22,7 +22,7 @@
 const asideEvidence = 3
 
 // JobsRunner is the runner with the policies of the product.
-type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestObjective, place.Peers]
+type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
 // JobsOptions says how a control process runs jobs.
 type JobsOptions struct {
@@ -49,8 +49,8 @@
 // noMachines stands for a platform without an interface to machines.
 type noMachines struct{}
 
-func (noMachines) Do(context.Context, runner.Order) sched.Outcome {
-	return sched.Outcome{Answer: sched.AnswerLater}
+func (noMachines) Do(context.Context, runner.MachineAction) sched.Outcome {
+	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
 // serveJobs adds the runner and the server for workers and operators.
@@ -65,10 +65,10 @@
 	if err != nil {
 		return err
 	}
-	c.work = runner.New(runner.Parts[*seat, runner.Machines, sched.EarliestObjective, place.Peers]{
-		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Order: sched.EarliestObjective{},
-		Judge: place.Peers{Least: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
-		Observe: func(d clock.Millis) { c.commits.Update(int64(d)) },
+	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
+		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Rank: sched.EarliestDeadline{},
+		Health: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
+		ObserveCommit: func(d clock.Millis) { c.commits.Update(int64(d)) },
 	})
 	c.member.changed = c.work.Wake
 	service := JobsService{Runner: c.work, Leader: c.knownLeader, Log: c.log}
@@ -92,15 +92,15 @@
 	_ = r.Register("job-commit-ms", c.commits)
 	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.work.Counts()) } }
 	counters(r, []counter{
-		{"heartbeats", count(func(n runner.Counts) int64 { return n.Beats })},
-		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleBeats })},
+		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
+		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
-		{"job-operations", count(func(n runner.Counts) int64 { return n.Ops })},
+		{"job-operations", count(func(n runner.Counts) int64 { return n.Operations })},
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
-		{"runs-started", count(func(n runner.Counts) int64 { return n.Starts })},
-		{"runs-lost", count(func(n runner.Counts) int64 { return n.Lost })},
-		{"runs-failed", count(func(n runner.Counts) int64 { return n.Failed })},
+		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
+		{"runs-lost", count(func(n runner.Counts) int64 { return n.RunsLost })},
+		{"runs-failed", count(func(n runner.Counts) int64 { return n.RunsFailed })},
 		{"job-inputs-refused", c.work.Refused},
 	})
 }
@@ -118,17 +118,17 @@
 func (c *Control) logNotes(all []sched.Note) {
 	for _, n := range all {
 		level := log.InfoLevel
-		if n.Failure {
+		if n.Important {
 			level = log.WarnLevel
 		}
 		switch {
-		case n.What == sched.DecisionStarted:
+		case n.Decision == sched.DecisionStarted:
 		case n.Task.Job == "":
-			c.log.Log(level, string(n.What), "reason", n.Reason)
+			c.log.Log(level, string(n.Decision), "reason", n.Reason)
 		case n.Run == 0:
-			c.log.Log(level, string(n.What), "job", n.Task.Job, "reason", n.Reason)
+			c.log.Log(level, string(n.Decision), "job", n.Task.Job, "reason", n.Reason)
 		default:
-			c.log.Log(level, string(n.What), "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step,
+			c.log.Log(level, string(n.Decision), "job", n.Task.Job, "occurrence", n.Task.Occurrence, "step", n.Task.Step,
 				"index", n.Task.Index, "run", n.Run, "worker", n.Worker, "reason", n.Reason)
 		}
 	}
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -78,9 +78,9 @@
 // Refresh makes the members' addresses known to the senders.
 func (m *seat) Refresh(ctx context.Context) boot.View {
 	s := m.ask(ctx)
-	v := boot.View{Members: s.Members, Leads: s.Role == raft.RoleLeader, Led: s.Leader.ID != 0}
+	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
 	for _, p := range s.Peers {
-		if !p.Recent {
+		if !p.RecentlyActive {
 			v.Silent = append(v.Silent, p.Member.ID)
 		}
 	}
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	return mapped(d.Read(ctx))
+	return mapped(d.ReadBarrier(ctx))
 }
 
 // Query runs f on the replicated state.
@@ -200,7 +200,7 @@
 func (m *seat) Certain(err error) bool {
 	var n notLeading
 	var e *group.Error
-	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindUnknown)
+	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
 }
 
 // notLeading says that this process does not lead and which one does.
