Reword package jobs in the terms of the field

Comments used clipped or figurative sentences ("a task may be away", "what is known of", "notes a good end"), and test heads told what the test does instead of which failure it guards against.

--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Clone returns a copy that shares nothing that operations change.
+// Clone returns a copy that shares no data that operations modify.
 func (s *State) Clone() *State {
 	c := *s
 	c.EndedJobs = slices.Clone(s.EndedJobs)
@@ -14,10 +14,10 @@
 		c.Jobs[id] = r.clone()
 	}
 	c.Waves = make(map[int]*Wave, len(s.Waves))
-	for n, w := range s.Waves {
-		x := *w
-		x.Ordered, x.Started = maps.Clone(w.Ordered), maps.Clone(w.Started)
-		c.Waves[n] = &x
+	for n, wave := range s.Waves {
+		waveCopy := *wave
+		waveCopy.Ordered, waveCopy.Started = maps.Clone(wave.Ordered), maps.Clone(wave.Started)
+		c.Waves[n] = &waveCopy
 	}
 	return &c
 }
--- a/core/state/jobs/size_test.go
+++ b/core/state/jobs/size_test.go
@@ -7,16 +7,17 @@
 	"pgregory.net/rapid"
 )
 
-func sizes(t *rapid.T, name string) Resources {
+func drawResources(t *rapid.T, name string) Resources {
 	n := rapid.IntRange(-100, 100)
 	return Resources{MilliCores: n.Draw(t, name+"-cores"), MemoryMiB: n.Draw(t, name+"-memory"), Accelerators: n.Draw(t, name+"-accelerators")}
 }
 
-// TestSizeArithmetic guards against a resource that is left out of a sum or of
-// a comparison: room would leak with each task that ends.
-func TestSizeArithmetic(t *testing.T) {
+// TestResourcesArithmetic guards against a sum or comparison that omits a
+// resource: the free resources of a worker would drift with each task that
+// ends.
+func TestResourcesArithmetic(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := sizes(t, "a"), sizes(t, "b")
+		a, b := drawResources(t, "a"), drawResources(t, "b")
 		assert.Equal(t, a.Plus(b).Minus(b), a)
 		assert.Equal(t, a.Plus(b), b.Plus(a))
 		assert.Equal(t, a.Fits(b), a.Minus(b).Fits(Resources{}))
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -6,21 +6,24 @@
 	"camphorridge/core/state/clock"
 )
 
-// Retention is how long an ended job is remembered. Submitters ask for two
-// minutes; a snapshot of what is remembered holds the group up while it is made.
+// Retention is how long an ended job is kept. Submitters query ended jobs for
+// up to two minutes. A longer retention makes snapshots larger, and the group
+// is blocked while a snapshot is made.
 const Retention = 3 * clock.Minute
 
 // State is the replicated state of submitted work.
 type State struct {
-	// Time is the largest time of an operation; it only grows.
+	// Time is the latest time of an operation; it never decreases.
 	Time   clock.Millis
 	Config Config
-	// Jobs holds every job that was accepted and not forgotten.
+	// Jobs holds every accepted job until its retention ends.
 	Jobs map[ID]*Record
-	// Seq is the number of the latest accepted job; it only grows.
+	// Seq is the sequence number of the latest accepted job; it never
+	// decreases.
 	Seq   uint64
 	Waves map[int]*Wave
-	// EndedJobs lists the jobs with a final status in the order of their ends.
+	// EndedJobs lists the jobs with a final status in the order in which they
+	// ended.
 	EndedJobs []ID
 }
 
@@ -29,40 +32,41 @@
 	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}}
 }
 
-// Apply applies the operations of one batch made at time now. Operations that
-// no longer fit the state change nothing: a second submission of an id, the end
-// of a run that is not the latest, a configuration that is not newer.
+// Apply applies a batch of operations made at time now. Operations that no
+// longer match the state have no effect: a second submission of the same ID,
+// the end of a run that is not the latest, or a configuration that is not
+// newer.
 func (s *State) Apply(ops []Op, now clock.Millis) {
 	s.Time = max(s.Time, now)
 	for i := range ops {
 		s.apply(&ops[i])
 	}
-	s.forget()
+	s.removeExpired()
 }
 
-func (s *State) apply(o *Op) {
-	switch o.Kind {
+func (s *State) apply(op *Op) {
+	switch op.Kind {
 	case OpSubmit:
-		s.submit(o.Job)
+		s.submit(op.Job)
 	case OpCancel:
-		s.cancel(o.Task.Job)
+		s.cancel(op.Task.Job)
 	case OpAssign:
-		s.assign(o)
+		s.assign(op)
 	case OpEnd:
-		s.end(o)
+		s.endRun(op)
 	case OpConfig:
-		if o.Config.Version > s.Config.Version {
-			s.Config = *o.Config
+		if op.Config.Version > s.Config.Version {
+			s.Config = *op.Config
 		}
 	case OpDeclareWave:
-		s.declare(o.Wave)
+		s.declareWave(op.Wave)
 	case OpMaintenanceOrdered:
-		if w := s.Waves[o.WaveNumber]; w != nil {
-			w.Ordered[o.Machine] = true
+		if w := s.Waves[op.WaveNumber]; w != nil {
+			w.Ordered[op.Machine] = true
 		}
 	case OpMaintenanceStarted:
-		if w := s.Waves[o.WaveNumber]; w != nil {
-			w.Started[o.Machine] = true
+		if w := s.Waves[op.WaveNumber]; w != nil {
+			w.Started[op.Machine] = true
 		}
 	}
 }
@@ -75,7 +79,7 @@
 	s.Jobs[j.ID] = NewRecord(*j, s.Seq)
 }
 
-// NewRecord returns the record of a job of which nothing has run.
+// NewRecord returns the record of a job of which no task has run.
 func NewRecord(j Job, seq uint64) *Record {
 	r := &Record{Job: j, Seq: seq, Occurrences: make([]Occurrence, max(j.OccurrenceCount, 1))}
 	for k := range r.Occurrences {
@@ -84,59 +88,61 @@
 	return r
 }
 
-// Recount sets the sums of what is done from the phases of the tasks.
+// Recount recomputes DoneTasks, DoneSteps and DoneOccurrences from the phases
+// of the tasks.
 func (r *Record) Recount() {
 	r.DoneOccurrences = 0
 	for k := range r.Occurrences {
-		o := &r.Occurrences[k]
-		o.DoneSteps = 0
-		for i := range o.Steps {
-			st := &o.Steps[i]
-			st.DoneTasks = 0
-			for _, t := range st.Tasks {
+		occurrence := &r.Occurrences[k]
+		occurrence.DoneSteps = 0
+		for i := range occurrence.Steps {
+			step := &occurrence.Steps[i]
+			step.DoneTasks = 0
+			for _, t := range step.Tasks {
 				if t.Phase == PhaseDone {
-					st.DoneTasks++
+					step.DoneTasks++
 				}
 			}
-			if st.DoneTasks == len(st.Tasks) {
-				o.DoneSteps++
+			if step.DoneTasks == len(step.Tasks) {
+				occurrence.DoneSteps++
 			}
 		}
-		if o.DoneSteps == len(o.Steps) {
+		if occurrence.DoneSteps == len(occurrence.Steps) {
 			r.DoneOccurrences++
 		}
 	}
 }
 
-// newOccurrence keeps the tasks of all steps in one allocation.
+// newOccurrence returns an occurrence of which no task has run. It allocates
+// the tasks of all steps at once.
 func newOccurrence(steps []Step) Occurrence {
-	n := 0
+	total := 0
 	for i := range steps {
-		n += steps[i].TaskCount
+		total += steps[i].TaskCount
 	}
-	all := make([]TaskState, n)
-	o := Occurrence{Steps: make([]StepState, len(steps))}
+	tasks := make([]TaskState, total)
+	occurrence := Occurrence{Steps: make([]StepState, len(steps))}
 	for i := range steps {
-		o.Steps[i].Tasks, all = all[:steps[i].TaskCount:steps[i].TaskCount], all[steps[i].TaskCount:]
+		occurrence.Steps[i].Tasks, tasks = tasks[:steps[i].TaskCount:steps[i].TaskCount], tasks[steps[i].TaskCount:]
 	}
-	return o
+	return occurrence
 }
 
 func (s *State) cancel(id ID) {
 	if r := s.Jobs[id]; r != nil && !r.Status.Final() {
-		s.finish(r, StatusCancelled)
+		s.finishJob(r, StatusCancelled)
 	}
 }
 
-func (s *State) finish(r *Record, to Status) {
+func (s *State) finishJob(r *Record, to Status) {
 	r.Status, r.EndedAt = to, s.Time
-	// Nothing of an ended job is started any more.
+	// Spec is needed only to start tasks, and an ended job starts none.
 	r.Spec = ""
 	s.EndedJobs = append(s.EndedJobs, r.ID)
 }
 
-// forget drops jobs that ended longer ago than Retention.
-func (s *State) forget() {
+// removeExpired removes jobs that ended at least Retention ago.
+func (s *State) removeExpired() {
 	for len(s.EndedJobs) > 0 {
 		r := s.Jobs[s.EndedJobs[0]]
 		if r != nil && s.Time-r.EndedAt < Retention {
@@ -147,7 +153,7 @@
 	}
 }
 
-// Task returns the state of a task; nil for one that does not exist.
+// Task returns the state of a task, or nil if the task does not exist.
 func (s *State) Task(t TaskID) *TaskState {
 	r := s.Jobs[t.Job]
 	if r == nil {
@@ -156,20 +162,21 @@
 	return r.Task(t)
 }
 
-// Task returns the state of a task of the job; nil for one that does not
+// Task returns the state of a task of the job, or nil if the task does not
 // exist.
 func (r *Record) Task(t TaskID) *TaskState {
 	if t.Occurrence < 0 || t.Occurrence >= len(r.Occurrences) || t.Step < 0 || t.Index < 0 {
 		return nil
 	}
-	o := &r.Occurrences[t.Occurrence]
-	if t.Step >= len(o.Steps) || t.Index >= len(o.Steps[t.Step].Tasks) {
+	occurrence := &r.Occurrences[t.Occurrence]
+	if t.Step >= len(occurrence.Steps) || t.Index >= len(occurrence.Steps[t.Step].Tasks) {
 		return nil
 	}
-	return &o.Steps[t.Step].Tasks[t.Index]
+	return &occurrence.Steps[t.Step].Tasks[t.Index]
 }
 
-// Tasks yields the tasks of the job in order.
+// Tasks iterates over the tasks of the job, ordered by occurrence, step and
+// index.
 func (r *Record) Tasks() iter.Seq2[TaskID, *TaskState] {
 	return func(yield func(TaskID, *TaskState) bool) {
 		for k := range r.Occurrences {
@@ -185,24 +192,25 @@
 	}
 }
 
-// stepOf returns the state of a task's step.
-func (r *Record) stepOf(t TaskID) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
+// stepState returns the state of the step that t belongs to.
+func (r *Record) stepState(t TaskID) *StepState { return &r.Occurrences[t.Occurrence].Steps[t.Step] }
 
-// Failures counts the failed runs of a step; the tasks of a gang fail together.
+// Failures returns the number of failed runs of a step. A gang fails as a
+// whole, so a failed run of it counts once.
 func (r *Record) Failures(occurrence, step int) int {
-	st := &r.Occurrences[occurrence].Steps[step]
+	state := &r.Occurrences[occurrence].Steps[step]
 	if r.Steps[step].Gang {
-		return st.fails()
+		return state.failures()
 	}
 	n := 0
-	for i := range st.Tasks {
-		n += st.Tasks[i].Failures
+	for i := range state.Tasks {
+		n += state.Tasks[i].Failures
 	}
 	return n
 }
 
-// fails counts the failed runs of a gang.
-func (st *StepState) fails() int {
+// failures returns the number of failed runs of a gang.
+func (st *StepState) failures() int {
 	n := 0
 	for i := range st.Tasks {
 		n = max(n, st.Tasks[i].Failures)
@@ -210,99 +218,100 @@
 	return n
 }
 
-// save sets the checkpoint of all tasks of a gang: that of any of them holds for
-// all, and all have to start from the same one.
-func (st *StepState) save(saved string) {
+// setCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint of one
+// task is valid for the whole gang, and all tasks must resume from the same
+// one.
+func (st *StepState) setCheckpoint(checkpoint string) {
 	for i := range st.Tasks {
-		st.Tasks[i].Checkpoint = saved
+		st.Tasks[i].Checkpoint = checkpoint
 	}
 }
 
-func (s *State) assign(o *Op) {
-	r := s.Jobs[o.Task.Job]
+func (s *State) assign(op *Op) {
+	r := s.Jobs[op.Task.Job]
 	if r == nil || r.Status.Final() {
 		return
 	}
-	t := r.Task(o.Task)
-	if t == nil || t.Phase != PhaseWaiting || o.Run <= t.Run {
+	t := r.Task(op.Task)
+	if t == nil || t.Phase != PhaseWaiting || op.Run <= t.Run {
 		return
 	}
-	if r.Steps[o.Task.Step].Gang {
-		t.Failures = r.stepOf(o.Task).fails()
+	if r.Steps[op.Task.Step].Gang {
+		t.Failures = r.stepState(op.Task).failures()
 	}
-	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, o.Run, o.Worker, o.Incarnation
+	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, op.Run, op.Worker, op.Incarnation
 	r.EverAssigned = true
 	if r.Status == StatusQueued {
 		r.Status = StatusRunning
 	}
 }
 
-func (s *State) end(o *Op) {
-	r := s.Jobs[o.Task.Job]
+func (s *State) endRun(op *Op) {
+	r := s.Jobs[op.Task.Job]
 	if r == nil {
 		return
 	}
-	t := r.Task(o.Task)
-	if t == nil || t.Phase != PhaseAssigned || t.Run != o.Run {
+	t := r.Task(op.Task)
+	if t == nil || t.Phase != PhaseAssigned || t.Run != op.Run {
 		return
 	}
 	t.Phase, t.Worker, t.Incarnation = PhaseWaiting, "", 0
-	step := &r.Steps[o.Task.Step]
-	if o.Checkpoint != "" {
-		t.Checkpoint = o.Checkpoint
+	step := &r.Steps[op.Task.Step]
+	if op.Checkpoint != "" {
+		t.Checkpoint = op.Checkpoint
 		if step.Gang {
-			r.stepOf(o.Task).save(o.Checkpoint)
+			r.stepState(op.Task).setCheckpoint(op.Checkpoint)
 		}
 	}
 	switch {
-	case o.Result == ResultDone && !step.LongRunning:
-		s.done(r, o.Task)
-	case o.Result == ResultFailed && !step.LongRunning:
+	case op.Result == ResultDone && !step.LongRunning:
+		s.completeTask(r, op.Task)
+	case op.Result == ResultFailed && !step.LongRunning:
 		t.Failures++
 		if t.Failures >= max(r.MaxAttempts, 1) && !r.Status.Final() {
-			s.finish(r, StatusFailed)
+			s.finishJob(r, StatusFailed)
 		}
 	}
 }
 
-// done notes a task's good end, and those of its step, occurrence and job with
-// it. The good end of one task of a gang stands for all of them.
-func (s *State) done(r *Record, id TaskID) {
-	o := &r.Occurrences[id.Occurrence]
-	st := &o.Steps[id.Step]
+// completeTask marks a task as done, and with it the step, occurrence and job
+// that this completes. When one task of a gang is done, so is the whole gang.
+func (s *State) completeTask(r *Record, id TaskID) {
+	occurrence := &r.Occurrences[id.Occurrence]
+	step := &occurrence.Steps[id.Step]
 	if r.Steps[id.Step].Gang {
-		for n := range st.Tasks {
-			t := &st.Tasks[n]
+		for n := range step.Tasks {
+			t := &step.Tasks[n]
 			t.Phase, t.Worker, t.Incarnation = PhaseDone, "", 0
 		}
-		st.DoneTasks = len(st.Tasks)
+		step.DoneTasks = len(step.Tasks)
 	} else {
-		st.Tasks[id.Index].Phase = PhaseDone
-		st.DoneTasks++
+		step.Tasks[id.Index].Phase = PhaseDone
+		step.DoneTasks++
 	}
-	if st.DoneTasks < len(st.Tasks) {
+	if step.DoneTasks < len(step.Tasks) {
 		return
 	}
-	o.DoneSteps++
-	if o.DoneSteps < len(o.Steps) {
+	occurrence.DoneSteps++
+	if occurrence.DoneSteps < len(occurrence.Steps) {
 		return
 	}
 	r.DoneOccurrences++
 	if r.DoneOccurrences == len(r.Occurrences) && !r.Status.Final() {
-		s.finish(r, StatusCompleted)
+		s.finishJob(r, StatusCompleted)
 	}
 }
 
-func (s *State) declare(w *Wave) {
-	if s.Waves[w.Number] != nil {
+func (s *State) declareWave(wave *Wave) {
+	if s.Waves[wave.Number] != nil {
 		return
 	}
-	n := *w
-	n.Ordered, n.Started = map[MachineID]bool{}, map[MachineID]bool{}
-	s.Waves[w.Number] = &n
+	declared := *wave
+	declared.Ordered, declared.Started = map[MachineID]bool{}, map[MachineID]bool{}
+	s.Waves[wave.Number] = &declared
 }
 
-// Queue returns the queue of a name.
+// Queue returns the queue with the given name and whether it exists.
 func (c *Config) Queue(name QueueName) (Queue, bool) {
 	for _, q := range c.Queues {
 		if q.Name == name {
@@ -312,18 +321,19 @@
 	return Queue{}, false
 }
 
-// Ready reports whether all tasks of the steps that a step waits for are done.
+// Ready reports whether all steps that the given step depends on are done.
 func (r *Record) Ready(occurrence, step int) bool {
-	o := &r.Occurrences[occurrence]
-	for _, before := range r.Steps[step].DependsOn {
-		if o.Steps[before].DoneTasks < len(o.Steps[before].Tasks) {
+	states := &r.Occurrences[occurrence]
+	for _, dependency := range r.Steps[step].DependsOn {
+		if states.Steps[dependency].DoneTasks < len(states.Steps[dependency].Tasks) {
 			return false
 		}
 	}
 	return true
 }
 
-// Due returns the time from which an occurrence may start; 0 for at once.
+// Due returns the earliest start time of an occurrence; 0 if it may start
+// immediately.
 func (r *Record) Due(occurrence int) clock.Millis {
 	if r.OccurrenceCount == 0 {
 		return 0
@@ -331,13 +341,14 @@
 	return r.FirstDue + clock.Millis(occurrence)*r.Interval
 }
 
-// CriticalPath returns the length of the longest chain of steps by their estimates.
+// CriticalPath returns the length of the longest chain of dependent steps, by
+// their estimates.
 func (j *Job) CriticalPath() clock.Millis {
 	var longest clock.Millis
 	ends := make([]clock.Millis, len(j.Steps))
 	for i := range j.Steps {
-		for _, before := range j.Steps[i].DependsOn {
-			ends[i] = max(ends[i], ends[before])
+		for _, dependency := range j.Steps[i].DependsOn {
+			ends[i] = max(ends[i], ends[dependency])
 		}
 		ends[i] += j.Steps[i].Estimate
 		longest = max(longest, ends[i])
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -2,24 +2,27 @@
 
 import "camphorridge/core/state/clock"
 
-// Names of the objects of the package.
+// The identifiers of the objects of this package.
 type (
-	// ID names a job; submitters choose it.
+	// ID identifies a job; the submitter chooses it.
 	ID string
-	// QueueName names a queue of the configuration.
+	// QueueName identifies a queue of the configuration.
 	QueueName string
-	// PoolName names the workers that run a queue's tasks.
+	// PoolName identifies a pool of workers that runs the tasks of one or more
+	// queues.
 	PoolName string
-	// WorkerID names a machine that runs tasks.
+	// WorkerID identifies a worker, the process that runs tasks on a machine.
 	WorkerID string
-	// MachineID names the hardware under a worker; it outlasts the worker.
+	// MachineID identifies the hardware that a worker runs on. It outlives the
+	// worker.
 	MachineID string
 )
 
-// Bounds of a job that is handed in.
+// Limits of a submitted job.
 const (
+	// MaxSpecBytes limits the length of Job.Spec.
 	MaxSpecBytes = 4000
-	// MaxTasks bounds the tasks over all occurrences.
+	// MaxTasks limits the number of tasks over all occurrences.
 	MaxTasks = 20_000
 )
 
@@ -30,7 +33,7 @@
 	Accelerators int
 }
 
-// Plus adds each resource of o.
+// Plus returns the sum of r and o for each resource.
 func (s Resources) Plus(o Resources) Resources {
 	return Resources{
 		MilliCores:   s.MilliCores + o.MilliCores,
@@ -39,7 +42,7 @@
 	}
 }
 
-// Minus takes each resource of o off; the result may be negative.
+// Minus returns r less o for each resource; the result may be negative.
 func (s Resources) Minus(o Resources) Resources {
 	return Resources{
 		MilliCores:   s.MilliCores - o.MilliCores,
@@ -48,38 +51,39 @@
 	}
 }
 
-// Fits reports whether room has enough of every resource.
-func (s Resources) Fits(room Resources) bool {
-	return s.MilliCores <= room.MilliCores && s.MemoryMiB <= room.MemoryMiB && s.Accelerators <= room.Accelerators
+// Fits reports whether free has enough of every resource.
+func (s Resources) Fits(free Resources) bool {
+	return s.MilliCores <= free.MilliCores && s.MemoryMiB <= free.MemoryMiB && s.Accelerators <= free.Accelerators
 }
 
-// Incarnation tells the lives of a worker with one name apart: the Unix millisecond
-// of its start. A later life knows nothing of an earlier one.
+// Incarnation distinguishes the runs of a worker process under the same
+// WorkerID. It is the start time of the process as a Unix time in milliseconds.
+// A later incarnation has no state of an earlier one.
 type Incarnation int64
 
-// TaskID names one task of a job.
+// TaskID identifies one task of a job.
 type TaskID struct {
 	Job ID
-	// Occurrence counts the repetitions of a scheduled job from 0.
+	// Occurrence is the index of the repetition of a scheduled job, from 0.
 	Occurrence int
 	Step       int
 	Index      int
 }
 
-// Queue is a rule of the configuration.
+// Queue is the configuration of one queue.
 type Queue struct {
 	Name QueueName
 	// Host and Prefix select the queue for a request.
 	Host   string
 	Prefix string
 	Pool   PoolName
-	// Priority 0 goes first.
+	// Priority 0 is the highest.
 	Priority int
-	// MaxAttempts is the number of failed runs after which a task fails its job;
+	// MaxAttempts is the number of failed runs of one task that fails its job;
 	// at least 1.
 	MaxAttempts int
-	// Target and StretchPermille make a job's objective: the target on top of
-	// the stretched length of its longest chain of steps.
+	// Target and StretchPermille define a job's deadline: the target plus the
+	// length of its critical path multiplied by StretchPermille/1000.
 	Target          clock.Millis
 	StretchPermille int
 	// Advice is the zero value for a queue whose tasks may run on any worker of
@@ -87,13 +91,14 @@
 	Advice AdvicePolicy
 }
 
-// AdvicePolicy is the rule of a queue that runs each step only on the workers that
-// the advice service names for it.
+// AdvicePolicy applies to a queue that runs each step only on the workers that
+// the advice service approves for it.
 type AdvicePolicy struct {
-	// TicketValidity is how long a ticket holds; above 0 for a queue with advice.
+	// TicketValidity is how long a ticket of the advice service is valid;
+	// greater than 0 for a queue with advice.
 	TicketValidity clock.Millis
-	// BaseLatency is how long an answer takes, and Each how much longer for each
-	// worker named.
+	// BaseLatency is the expected response time of the advice service, to which
+	// LatencyPerWorker is added for each worker named in the request.
 	BaseLatency      clock.Millis
 	LatencyPerWorker clock.Millis
 }
@@ -101,15 +106,16 @@
 // Pool is a set of workers of the configuration.
 type Pool struct {
 	Name PoolName
-	// Standby pools hold machines that are off.
+	// Standby is set for a pool of machines that are powered off.
 	Standby bool
-	// AdmissionControl workers reject a start that they have no room for.
+	// AdmissionControl is set if the pool's workers reject a start that exceeds
+	// their free resources.
 	AdmissionControl bool
 }
 
 // Config is the configuration in force.
 type Config struct {
-	// Version only grows; 0 stands for no configuration.
+	// Version increases with each configuration; 0 means that there is none.
 	Version uint64
 	// Document is the configuration as the operator sent it.
 	Document []byte
@@ -119,56 +125,64 @@
 
 // Step is one step of a job.
 type Step struct {
-	// TaskCount is the number of tasks; at least 1.
+	// TaskCount is at least 1.
 	TaskCount int
+	// Resources is what each task requires.
 	Resources Resources
-	// Estimate is a rough duration of one task.
+	// Estimate is the approximate duration of one task.
 	Estimate clock.Millis
-	// DependsOn lists the earlier steps that must be done first.
+	// DependsOn lists the earlier steps that must be done before this one
+	// starts.
 	DependsOn []int
-	// Checkpoints is set when tasks make checkpoints.
+	// Checkpoints is set when the tasks write checkpoints.
 	Checkpoints bool
-	// Gang tasks work only all together: they start at once with one run number,
-	// end well together, and go on from one checkpoint.
+	// Gang is set when the tasks can only work together: they start at the same
+	// time with the same run number, complete together and resume from the same
+	// checkpoint. SameRack is set for a gang that should run on workers of one
+	// rack.
 	Gang     bool
 	SameRack bool
-	// RequiredLabel must be among a worker's labels when it is not empty.
+	// RequiredLabel must be one of the worker's labels, unless it is empty.
 	RequiredLabel string
 	// DataRack is the rack near the data; empty for none.
 	DataRack string
-	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
+	// MaxPerWorker limits the tasks of the step on one worker; 0 for no limit.
 	MaxPerWorker int
-	// Speculative allows several runs of a task at a time.
+	// Speculative allows several concurrent runs of a task.
 	Speculative bool
 	// LongRunning tasks run until the job is cancelled.
 	LongRunning bool
 	Image       string
-	// LatencyTarget is the bound on a serving task's tail; 0 for none.
+	// LatencyTarget is the limit on the tail latency of a serving task; 0 for
+	// none.
 	LatencyTarget clock.Millis
-	// BestEffort tasks take processor time that others leave; their share of Need
-	// is not counted.
+	// BestEffort tasks use processor time that other tasks leave over; the
+	// processors in their Resources are not reserved.
 	BestEffort bool
-	// MaxUnavailable is the number of lasting tasks that may be away at a time by the
-	// system's own action.
+	// MaxUnavailable is the number of long-running tasks that the scheduler may
+	// make unavailable at the same time.
 	MaxUnavailable int
 }
 
-// Job is what a submitter hands in, with the rules of its queue at that time.
+// Job is a submitted job, with the settings of its queue at the time of
+// submission.
 type Job struct {
 	ID    ID
 	Queue QueueName
-	// Pool is the queue's pool at submission; it serves when the queue is
+	// Pool is the queue's pool at submission. It is used if the queue is
 	// removed.
 	Pool PoolName
-	// Spec is passed on to workers as it is.
+	// Spec is passed to workers unchanged.
 	Spec  string
 	Steps []Step
-	// OccurrenceCount is the number of occurrences of a scheduled job, which are due at
-	// First and then each Interval; 0 for a job that runs once, at once.
+	// OccurrenceCount is the number of occurrences of a scheduled job, which
+	// are due at FirstDue and every Interval after it; 0 for a job that runs
+	// once, immediately.
 	OccurrenceCount int
 	FirstDue        clock.Millis
 	Interval        clock.Millis
-	// Priority, Attempts, Target and StretchPermille are the queue's.
+	// Priority, MaxAttempts, Target and StretchPermille are copied from the
+	// queue.
 	Priority        int
 	MaxAttempts     int
 	Target          clock.Millis
@@ -182,38 +196,40 @@
 
 // The phases of a task.
 const (
-	// PhaseWaiting: on no worker.
+	// PhaseWaiting means that the task is assigned to no worker.
 	PhaseWaiting Phase = iota
-	// PhaseAssigned: a start order may have reached Worker.
+	// PhaseAssigned means that a start order may have reached the task's
+	// worker.
 	PhaseAssigned
-	// PhaseDone: a run ended well.
+	// PhaseDone means that a run completed successfully.
 	PhaseDone
 )
 
-// TaskState is what is known of a task.
+// TaskState is the state of a task.
 type TaskState struct {
 	Phase Phase
-	// Run is the number of the latest start; it only grows, also over changes
-	// of leader, so that two starts never share a number.
+	// Run is the number of the latest start. It only increases, also across
+	// changes of leader, so that two starts never share a number.
 	Run int
-	// Failures counts the runs that failed; for a task of a gang those of the gang
-	// in which this task or, before its latest start, any of them failed.
+	// Failures counts the failed runs. For a task of a gang it counts the runs
+	// of the gang in which this task failed or, before its latest start, any
+	// task of the gang failed.
 	Failures int
-	// Worker and Life are set in PhaseAssigned.
+	// Worker and Incarnation are set in PhaseAssigned.
 	Worker      WorkerID
 	Incarnation Incarnation
 	// Checkpoint is the latest checkpoint; empty for none.
 	Checkpoint string
 }
 
-// StepState is what is known of a step of one occurrence.
+// StepState is the state of a step of one occurrence.
 type StepState struct {
 	Tasks []TaskState
 	// DoneTasks counts the tasks in PhaseDone.
 	DoneTasks int
 }
 
-// Occurrence is one repetition of a job.
+// Occurrence is the state of one repetition of a job.
 type Occurrence struct {
 	Steps []StepState
 	// DoneSteps counts the steps whose tasks are all done.
@@ -223,7 +239,7 @@
 // Status is the state of a job as submitters see it.
 type Status uint8
 
-// The states of a job.
+// The statuses of a job.
 const (
 	StatusQueued Status = iota
 	StatusRunning
@@ -234,7 +250,7 @@
 
 var statusNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
 
-// String returns the name used in logs and answers.
+// String returns the name used in logs and responses.
 func (s Status) String() string {
 	if int(s) >= len(statusNames) {
 		return "unknown"
@@ -242,7 +258,7 @@
 	return statusNames[s]
 }
 
-// Final reports whether the status never changes again.
+// Final reports whether the status can no longer change.
 func (s Status) Final() bool { return s >= StatusCompleted }
 
 // Record is a job and its progress.
@@ -251,87 +267,91 @@
 	// Seq orders jobs by acceptance.
 	Seq    uint64
 	Status Status
-	// EverAssigned is set once a task has been assigned.
+	// EverAssigned is set once a task of the job has been assigned to a worker.
 	EverAssigned bool
 	// EndedAt is the time of the final status; 0 before.
 	EndedAt clock.Millis
-	// Occurrences has one entry for each repetition; one for a job that runs
-	// once.
+	// Occurrences has one entry for each repetition, and one for a job that
+	// runs once.
 	Occurrences []Occurrence
 	// DoneOccurrences counts the occurrences whose steps are all done.
 	DoneOccurrences int
 }
 
-// Wave is a declared maintenance of machines.
+// Wave is a declared maintenance of a set of machines.
 type Wave struct {
 	Number   int
 	Machines []MachineID
-	// MaxDown bounds the machines that are down for the wave at a time.
+	// MaxDown limits the machines of the wave that are down at the same time.
 	MaxDown int
-	// DeclaredAt is the leader's time at acceptance; Deadline is later.
+	// DeclaredAt is the leader's time at acceptance. Deadline is later.
 	DeclaredAt clock.Millis
 	Deadline   clock.Millis
-	// Ordered holds the machines whose maintenance may have been ordered, and
-	// Begun those of them whose order was confirmed or that are gone.
+	// Ordered holds the machines whose maintenance may have been ordered.
+	// Started holds those of them whose maintenance was confirmed or that no
+	// longer exist.
 	Ordered map[MachineID]bool
 	Started map[MachineID]bool
 }
 
-// Completed reports whether the maintenance of every machine has begun.
+// Completed reports whether the maintenance of every machine has started.
 func (w *Wave) Completed() bool { return len(w.Started) >= len(w.Machines) }
 
-// Result says how a run ended.
+// Result is how a run ended.
 type Result uint8
 
-// The ends of a run.
+// The results of a run.
 const (
+	// ResultDone means that the run completed successfully.
 	ResultDone Result = iota
 	// ResultFailed counts as an attempt.
 	ResultFailed
 	ResultStopped
-	// ResultExpired: the worker's lease ran out.
+	// ResultExpired means that the worker's lease expired.
 	ResultExpired
-	// ResultRefused: the worker did not start the run.
+	// ResultRefused means that the worker did not start the run.
 	ResultRefused
-	// ResultLost: the run did not reach the worker, or the worker is gone.
+	// ResultLost means that the run did not reach the worker, or that the
+	// worker is gone.
 	ResultLost
 )
 
-var howNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
+var resultNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
 
 // String returns the name used in logs.
 func (h Result) String() string {
-	if int(h) >= len(howNames) {
+	if int(h) >= len(resultNames) {
 		return "unknown"
 	}
-	return howNames[h]
+	return resultNames[h]
 }
 
-// OpKind tells operations apart.
+// OpKind is the kind of an operation.
 type OpKind uint8
 
 // The kinds of operation.
 const (
 	// OpSubmit adds Job.
 	OpSubmit OpKind = iota
-	// OpCancel cancels Task.Job.
+	// OpCancel cancels the job Task.Job.
 	OpCancel
-	// OpAssign assigns Task to Worker and Life with number Run.
+	// OpAssign assigns Task to Worker and its Incarnation as run number Run.
 	OpAssign
-	// OpEnd ends run Run of Task as How, with checkpoint Saved.
+	// OpEnd ends run Run of Task with Result and Checkpoint.
 	OpEnd
-	// OpConfig puts Config in force.
+	// OpConfig puts Config into force.
 	OpConfig
 	// OpDeclareWave declares Wave.
 	OpDeclareWave
-	// OpMaintenanceOrdered notes that the maintenance of Machine in wave Number may have
-	// been ordered.
+	// OpMaintenanceOrdered records that the maintenance of Machine in wave
+	// WaveNumber may have been ordered.
 	OpMaintenanceOrdered
-	// OpMaintenanceStarted notes that the maintenance of Machine in wave Number has begun.
+	// OpMaintenanceStarted records that the maintenance of Machine in wave
+	// WaveNumber has started, or that the machine no longer exists.
 	OpMaintenanceStarted
 )
 
-// Op is one operation. The fields that belong to Kind are set.
+// Op is one operation. Only the fields that Kind uses are set.
 type Op struct {
 	Kind        OpKind
 	Task        TaskID
@@ -342,8 +362,8 @@
 	Checkpoint  string
 	WaveNumber  int
 	Machine     MachineID
-	// Job, Config and Wave are nil unless Kind calls for them; they are not
-	// changed after the operation was made.
+	// Job, Config and Wave are nil unless Kind uses them. They must not be
+	// modified once the operation exists.
 	Job    *Job
 	Config *Config
 	Wave   *Wave
