--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -9,192 +9,201 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Figures of questions to the advice service.
+// Parameters of requests to the advice service.
 const (
-	// askRetry separates two questions on one step when the first had no answer.
-	askRetry clock.Millis = 300
-	// askMost bounds the workers that one question names; each costs time.
-	askMost = 30
-	// ticketMargin is the time before the end of a ticket from which no start
-	// rests on it: the order has to be committed and to reach the worker.
-	ticketMargin clock.Millis = 200
+	// adviceRetryMillis is the pause before a request about the same step is
+	// repeated after a failure.
+	adviceRetryMillis clock.Millis = 300
+	// maxAdviceWorkers limits the workers in one request; each one adds to the
+	// response time.
+	maxAdviceWorkers = 30
+	// ticketMarginMillis is the minimum remaining validity of a ticket for a
+	// start: the start must be committed and reach the worker before the ticket
+	// expires.
+	ticketMarginMillis clock.Millis = 200
 )
 
-// opinion is what the advice service said of a worker for a step.
-type opinion struct {
-	life jobs.Incarnation
-	// ticket is empty for a worker that may not run the step.
-	ticket string
-	until  clock.Millis
+// adviceVerdict is the response of the advice service about one worker for one
+// step.
+type adviceVerdict struct {
+	incarnation jobs.Incarnation
+	// ticket is empty if the worker must not run the step.
+	ticket     string
+	validUntil clock.Millis
 }
 
-// advised is what is known of the workers that may run a step.
-type advised struct {
-	opinions map[jobs.WorkerID]opinion
-	// next is the time before which the service is not asked again.
-	next clock.Millis
+// stepAdvice holds the verdicts for the workers of one step.
+type stepAdvice struct {
+	verdicts map[jobs.WorkerID]adviceVerdict
+	// nextRequest is the earliest time of the next request.
+	nextRequest clock.Millis
 }
 
-// advice is the state of questions to the advice service. It takes the calls of
-// one caller in turn, so that there is one at a time.
-type advice struct {
-	steps map[groupKey]*advised
-	// asking is the step of the question on its way, and lives holds the life of
-	// each worker that it names; nil for none.
-	asking groupKey
-	lives  map[jobs.WorkerID]jobs.Incarnation
-	asked  clock.Millis
-	// counts says how many of a queue's answers were good.
+// adviceState is the state of the requests to the advice service. The service
+// processes the requests of one caller sequentially, so there is at most one
+// pending request.
+type adviceState struct {
+	steps map[stepKey]*stepAdvice
+	// pendingStep is the step of the pending request. pendingWorkers holds the
+	// incarnation of each worker that the request names; nil without a pending
+	// request.
+	pendingStep    stepKey
+	pendingWorkers map[jobs.WorkerID]jobs.Incarnation
+	requestedAt    clock.Millis
+	// counts holds the number of requested and approved workers for each queue.
 	counts map[jobs.QueueName]adviceCount
 }
 
 type adviceCount struct {
-	named, good int
+	requested, approved int
 }
 
-func newAdvice() advice {
-	return advice{steps: map[groupKey]*advised{}, counts: map[jobs.QueueName]adviceCount{}}
+func newAdviceState() adviceState {
+	return adviceState{steps: map[stepKey]*stepAdvice{}, counts: map[jobs.QueueName]adviceCount{}}
 }
 
-// Ticket is the leave to run a step on a worker.
+// Ticket is the permission of the advice service to run a step on a worker.
 type Ticket struct {
 	Worker jobs.WorkerID
 	Text   string
 }
 
-// adviceOf returns the rule of a job's queue; the zero value for a queue without
-// advice.
-func (b *Scheduler[O, J]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return b.advices[r.Queue] }
+// adviceOf returns the policy of a job's queue; the zero value for a queue
+// without advice.
+func (s *Scheduler[P, H]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return s.adviceRules[r.Queue] }
 
-// ticket returns a worker's ticket for a step of a queue with advice.
-func (b *Scheduler[O, J]) ticket(w *worker, k groupKey, now clock.Millis) (string, bool) {
-	a := b.advice.steps[k]
-	if a == nil {
+// ticket returns a worker's ticket for a step and whether it is valid for a
+// start now.
+func (s *Scheduler[P, H]) ticket(w *worker, k stepKey, now clock.Millis) (string, bool) {
+	advice := s.advice.steps[k]
+	if advice == nil {
 		return "", false
 	}
-	o, ok := a.opinions[w.id]
-	return o.ticket, ok && o.ticket != "" && o.life == w.life && now+ticketMargin < o.until
+	verdict, ok := advice.verdicts[w.id]
+	return verdict.ticket, ok && verdict.ticket != "" && verdict.incarnation == w.incarnation && now+ticketMarginMillis < verdict.validUntil
 }
 
-// allowed reports whether the rules of the group's queue let the worker run it.
-func (b *Scheduler[O, J]) allowed(w *worker, g *group, now clock.Millis) bool {
-	if b.adviceOf(g.rec).TicketValidity == 0 {
+// adviceAllows reports whether the worker may run the group's tasks: their
+// queue has no advice, or the worker has a valid ticket.
+func (s *Scheduler[P, H]) adviceAllows(w *worker, g *taskGroup, now clock.Millis) bool {
+	if s.adviceOf(g.rec).TicketValidity == 0 {
 		return true
 	}
-	_, ok := b.ticket(w, g.key, now)
+	_, ok := s.ticket(w, g.key, now)
 	return ok
 }
 
-// ask asks the advice service for workers that may run the waiting tasks of a
-// group, unless another question is on its way. It names about as many as hold
-// enough good ones by the queue's earlier answers, those that tasks would be
-// placed on first.
-func (b *Scheduler[O, J]) ask(p *pool, g *group, now clock.Millis) {
-	if b.adviceOf(g.rec).TicketValidity == 0 || b.advice.lives != nil {
+// requestAdvice asks the advice service which workers may run the waiting tasks
+// of a group, unless another request is pending. Going by the queue's earlier
+// responses, it names enough workers that the expected number of approved ones
+// suffices, starting with workers that have enough free resources.
+func (s *Scheduler[P, H]) requestAdvice(p *pool, g *taskGroup, now clock.Millis) {
+	if s.adviceOf(g.rec).TicketValidity == 0 || s.advice.pendingWorkers != nil {
 		return
 	}
-	a := b.advice.steps[g.key]
-	if a == nil {
-		a = &advised{opinions: map[jobs.WorkerID]opinion{}}
-		b.advice.steps[g.key] = a
+	advice := s.advice.steps[g.key]
+	if advice == nil {
+		advice = &stepAdvice{verdicts: map[jobs.WorkerID]adviceVerdict{}}
+		s.advice.steps[g.key] = advice
 	}
-	if now < a.next {
+	if now < advice.nextRequest {
 		return
 	}
-	open := b.unasked(p, g, a, now)
-	if len(open) == 0 {
+	candidates := s.adviceCandidates(p, g, advice, now)
+	if len(candidates) == 0 {
 		return
 	}
-	lives := map[jobs.WorkerID]jobs.Incarnation{}
-	names := make([]jobs.WorkerID, 0, len(open))
-	for _, w := range open[:min(len(open), b.question(g, open[0]))] {
-		lives[w.id] = w.life
-		names = append(names, w.id)
+	incarnations := map[jobs.WorkerID]jobs.Incarnation{}
+	workers := make([]jobs.WorkerID, 0, len(candidates))
+	for _, w := range candidates[:min(len(candidates), s.adviceRequestSize(g, candidates[0]))] {
+		incarnations[w.id] = w.incarnation
+		workers = append(workers, w.id)
 	}
-	b.advice.asking, b.advice.lives, b.advice.asked = g.key, lives, now
-	rule := b.adviceOf(g.rec)
-	b.out.Actions = append(b.out.Actions, Action{
-		Kind: ActionAdvise, Step: g.key.task(0), Workers: names, ExpectedDuration: rule.BaseLatency + clock.Millis(len(names))*rule.LatencyPerWorker,
+	s.advice.pendingStep, s.advice.pendingWorkers, s.advice.requestedAt = g.key, incarnations, now
+	policy := s.adviceOf(g.rec)
+	s.plan.Actions = append(s.plan.Actions, Action{
+		Kind: ActionAdvise, Step: g.key.taskID(0), Workers: workers, ExpectedDuration: policy.BaseLatency + clock.Millis(len(workers))*policy.LatencyPerWorker,
 	})
 }
 
-// unasked lists the pool's workers that could take a task of the group and of
-// which it is not known whether they may.
-func (b *Scheduler[O, J]) unasked(p *pool, g *group, a *advised, now clock.Millis) []*worker {
-	var open []*worker
-	for w := range b.heard(p, now) {
-		if !b.takes(w, g, now) || w.seats(w.room, g) == 0 {
+// adviceCandidates returns the pool's workers that could run a task of the
+// group and have no valid verdict, those with enough free resources first.
+func (s *Scheduler[P, H]) adviceCandidates(p *pool, g *taskGroup, advice *stepAdvice, now clock.Millis) []*worker {
+	var candidates []*worker
+	for w := range s.liveWorkers(p, now) {
+		if !s.acceptsGroup(w, g, now) || w.fitCount(w.capacity, g) == 0 {
 			continue
 		}
-		o, ok := a.opinions[w.id]
-		if ok && o.life == w.life && (o.ticket == "" || now+ticketMargin < o.until) {
+		verdict, ok := advice.verdicts[w.id]
+		if ok && verdict.incarnation == w.incarnation && (verdict.ticket == "" || now+ticketMarginMillis < verdict.validUntil) {
 			continue
 		}
-		open = append(open, w)
+		candidates = append(candidates, w)
 	}
-	room := func(w *worker) bool { return counted(g.step).Fits(w.room.Minus(w.used)) }
-	slices.SortFunc(open, func(x, y *worker) int {
-		if order := compareBool(room(y), room(x)); order != 0 {
+	hasCapacity := func(w *worker) bool { return reservation(g.step).Fits(w.capacity.Minus(w.used)) }
+	slices.SortFunc(candidates, func(x, y *worker) int {
+		if order := compareBool(hasCapacity(y), hasCapacity(x)); order != 0 {
 			return order
 		}
 		return cmp.Compare(x.id, y.id)
 	})
-	return open
+	return candidates
 }
 
-// question is the number of workers to name: as many as the waiting tasks take,
-// over the share of good ones.
-func (b *Scheduler[O, J]) question(g *group, w *worker) int {
-	wanted := (len(g.waiting) + w.seats(w.room, g) - 1) / w.seats(w.room, g)
-	c := b.advice.counts[g.rec.Queue]
-	return min(1+wanted*(c.named+2)/(c.good+1), askMost)
+// adviceRequestSize returns the number of workers to name in a request: the
+// number that the waiting tasks need, divided by the share of approved workers
+// so far.
+func (s *Scheduler[P, H]) adviceRequestSize(g *taskGroup, w *worker) int {
+	wanted := (len(g.waiting) + w.fitCount(w.capacity, g) - 1) / w.fitCount(w.capacity, g)
+	count := s.advice.counts[g.rec.Queue]
+	return min(1+wanted*(count.requested+2)/(count.approved+1), maxAdviceWorkers)
 }
 
-// answered takes the answer of the advice service.
-func (b *Scheduler[O, J]) answered(a Action, o Outcome, now clock.Millis) {
-	lives, asked, key := b.advice.lives, b.advice.asked, b.advice.asking
-	b.advice.lives = nil
-	step, rec := b.advice.steps[key], b.State.Jobs[key.job]
+// handleAdvice processes the response of the advice service.
+func (s *Scheduler[P, H]) handleAdvice(action Action, outcome Outcome, now clock.Millis) {
+	incarnations, requestedAt, key := s.advice.pendingWorkers, s.advice.requestedAt, s.advice.pendingStep
+	s.advice.pendingWorkers = nil
+	step, rec := s.advice.steps[key], s.State.Jobs[key.job]
 	if step == nil || rec == nil || rec.Status.Final() {
 		return
 	}
-	step.next = now
-	if o.Answer != AnswerDone {
-		step.next = now + askRetry
-		b.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(a.Workers), o), true)
+	step.nextRequest = now
+	if outcome.Answer != AnswerDone {
+		step.nextRequest = now + adviceRetryMillis
+		s.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(action.Workers), outcome), true)
 		return
 	}
-	for id, life := range lives {
-		step.opinions[id] = opinion{life: life}
+	for id, incarnation := range incarnations {
+		step.verdicts[id] = adviceVerdict{incarnation: incarnation}
 	}
-	good := 0
-	for _, t := range o.Tickets {
-		if life, ok := lives[t.Worker]; ok && t.Text != "" {
-			step.opinions[t.Worker] = opinion{life: life, ticket: t.Text, until: asked + b.adviceOf(rec).TicketValidity}
-			good++
+	approved := 0
+	for _, t := range outcome.Tickets {
+		if incarnation, ok := incarnations[t.Worker]; ok && t.Text != "" {
+			step.verdicts[t.Worker] = adviceVerdict{incarnation: incarnation, ticket: t.Text, validUntil: requestedAt + s.adviceOf(rec).TicketValidity}
+			approved++
 		}
 	}
-	c := b.advice.counts[rec.Queue]
-	b.advice.counts[rec.Queue] = adviceCount{named: c.named + len(lives), good: c.good + good}
-	b.noteJob(DecisionAdviceReceived, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, good, len(lives), now-asked), false)
-	b.dirty[b.pool(b.poolOf(rec))] = true
+	count := s.advice.counts[rec.Queue]
+	s.advice.counts[rec.Queue] = adviceCount{requested: count.requested + len(incarnations), approved: count.approved + approved}
+	s.noteJob(DecisionAdviceReceived, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, approved, len(incarnations), now-requestedAt), false)
+	s.dirtyPools[s.pool(s.poolOf(rec))] = true
 }
 
-// forgetAdvice drops what is known of the steps of a job that is over.
-func (b *Scheduler[O, J]) forgetAdvice(r *jobs.Record) {
-	if len(b.advice.steps) == 0 {
+// forgetAdvice drops the verdicts for the steps of a job that has ended.
+func (s *Scheduler[P, H]) forgetAdvice(r *jobs.Record) {
+	if len(s.advice.steps) == 0 {
 		return
 	}
-	for k := range r.Occurrences {
-		for i := range r.Steps {
-			delete(b.advice.steps, groupKey{r.ID, k, i})
+	for occurrence := range r.Occurrences {
+		for step := range r.Steps {
+			delete(s.advice.steps, stepKey{r.ID, occurrence, step})
 		}
 	}
 }
 
-// refusedTicket drops a ticket that a worker has not accepted.
-func (b *Scheduler[O, J]) refusedTicket(w *worker, r *run) {
-	if a := b.advice.steps[keyOf(r.task)]; a != nil {
-		delete(a.opinions, w.id)
+// dropTicket drops the ticket of a run that the worker refused.
+func (s *Scheduler[P, H]) dropTicket(w *worker, r *run) {
+	if a := s.advice.steps[stepKeyOf(r.task)]; a != nil {
+		delete(a.verdicts, w.id)
 	}
 }
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -9,133 +9,133 @@
 	"camphorridge/core/state/jobs"
 )
 
-// ticketLife is how long tickets hold in the tests.
-const ticketLife = 4 * clock.Second
+// ticketValidity is the validity of tickets in the tests.
+const ticketValidity = 4 * clock.Second
 
-// newAdvisedRig is a rig whose queue has advice.
-func newAdvisedRig() *rig {
-	r := newRig(Defaults())
+// newAdvisedFixture returns a fixture whose queue has advice.
+func newAdvisedFixture() *fixture {
+	r := newFixture(Defaults())
 	c := r.State.Config
 	c.Version++
 	c.Queues = []jobs.Queue{{
 		Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500,
-		Advice: jobs.AdvicePolicy{TicketValidity: ticketLife, BaseLatency: 20, LatencyPerWorker: 2},
+		Advice: jobs.AdvicePolicy{TicketValidity: ticketValidity, BaseLatency: 20, LatencyPerWorker: 2},
 	}}
 	r.Configure(c, r.now)
 	return r
 }
 
-// question returns the question of a plan.
-func question(t *testing.T, p Plan) Action {
+// adviceRequest returns the only request to the advice service in a plan.
+func adviceRequest(t *testing.T, p Plan) Action {
 	t.Helper()
-	asked := actions(p, ActionAdvise)
-	assert.Equal(t, len(asked), 1)
-	return asked[0]
+	requests := actionsOf(p, ActionAdvise)
+	assert.Equal(t, len(requests), 1)
+	return requests[0]
 }
 
 // TestAdvisedStartHasTicket guards against a start on a worker that the advice
-// service has not named, or without its ticket, and against workers that are
-// asked for again although the answer does not change.
+// service has not approved or without its ticket, and against repeated requests
+// about workers whose verdict does not change.
 func TestAdvisedStartHasTicket(t *testing.T) {
-	r := newAdvisedRig()
-	r.submit("a", small)
-	r.hear("w1", 1, nil)
-	r.hear("w2", 1, nil)
+	r := newAdvisedFixture()
+	r.submit("a", smallStep)
+	r.heartbeat("w1", 1, nil)
+	r.heartbeat("w2", 1, nil)
 	p := r.Pass(r.now)
-	a := question(t, p)
-	assert.Equal(t, len(orders(p, "w1").Starts)+len(orders(p, "w2").Starts), 0)
+	a := adviceRequest(t, p)
+	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 0)
 	assert.DeepEqual(t, a.Step, jobs.TaskID{Job: "a"})
 	assert.DeepEqual(t, a.Workers, []jobs.WorkerID{"w1", "w2"})
 	r.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, r.now+30)
 	r.now += 30
 	p = r.Pass(r.now)
-	assert.Equal(t, len(orders(p, "w1").Starts), 0)
-	assert.Equal(t, len(orders(p, "w2").Starts), 1)
-	assert.Equal(t, orders(p, "w2").Starts[0].Ticket, "leave")
-	assert.Equal(t, len(actions(p, ActionAdvise)), 0)
+	assert.Equal(t, len(ordersFor(p, "w1").Starts), 0)
+	assert.Equal(t, len(ordersFor(p, "w2").Starts), 1)
+	assert.Equal(t, ordersFor(p, "w2").Starts[0].Ticket, "leave")
+	assert.Equal(t, len(actionsOf(p, ActionAdvise)), 0)
 }
 
-// TestOneQuestionAtATime guards against questions that wait at the service
-// behind those for work that comes later: it takes one at a time.
-func TestOneQuestionAtATime(t *testing.T) {
-	r := newAdvisedRig()
-	r.submit("a", small)
-	r.submit("b", small)
-	r.hear("w1", 1, nil)
-	a := question(t, r.Pass(r.now))
+// TestOneAdviceRequestAtATime guards against requests that queue at the advice
+// service, which processes one at a time, behind requests for later work.
+func TestOneAdviceRequestAtATime(t *testing.T) {
+	r := newAdvisedFixture()
+	r.submit("a", smallStep)
+	r.submit("b", smallStep)
+	r.heartbeat("w1", 1, nil)
+	a := adviceRequest(t, r.Pass(r.now))
 	r.now += 100
-	r.hear("w1", 1, nil)
-	assert.Equal(t, len(actions(r.Pass(r.now), ActionAdvise)), 0)
+	r.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionAdvise)), 0)
 	r.HandleOutcome(a, Outcome{}, r.now)
-	b := question(t, r.Pass(r.now))
+	b := adviceRequest(t, r.Pass(r.now))
 	assert.Equal(t, a.Step.Job, jobs.ID("a"))
 	assert.Equal(t, b.Step.Job, jobs.ID("b"))
 }
 
-// TestUnansweredQuestionIsRepeated guards against a job that waits for good
-// because one answer was lost.
-func TestUnansweredQuestionIsRepeated(t *testing.T) {
-	r := newAdvisedRig()
-	r.submit("a", small)
-	r.hear("w1", 1, nil)
-	r.HandleOutcome(question(t, r.Pass(r.now)), Outcome{Answer: AnswerUnknown}, r.now)
-	r.hear("w1", 1, nil)
-	assert.Equal(t, len(actions(r.Pass(r.now), ActionAdvise)), 0)
-	r.now += askRetry
-	r.hear("w1", 1, nil)
-	question(t, r.Pass(r.now))
+// TestUnansweredAdviceRequestIsRepeated guards against a job that waits forever
+// because one response was lost.
+func TestUnansweredAdviceRequestIsRepeated(t *testing.T) {
+	r := newAdvisedFixture()
+	r.submit("a", smallStep)
+	r.heartbeat("w1", 1, nil)
+	r.HandleOutcome(adviceRequest(t, r.Pass(r.now)), Outcome{Answer: AnswerUnknown}, r.now)
+	r.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionAdvise)), 0)
+	r.now += adviceRetryMillis
+	r.heartbeat("w1", 1, nil)
+	adviceRequest(t, r.Pass(r.now))
 }
 
-// TestTicketIsRenewed guards against a start under a ticket that has run out,
-// belongs to an earlier life of the worker, or was not accepted.
+// TestTicketIsRenewed guards against a start with a ticket that has expired,
+// belongs to an earlier incarnation of the worker, or was refused.
 func TestTicketIsRenewed(t *testing.T) {
-	two := small
+	two := smallStep
 	two.TaskCount, two.MaxPerWorker = 2, 1
 	for _, c := range []struct {
 		name string
 		life jobs.Incarnation
-		then func(r *rig, first Orders)
+		then func(r *fixture, first Orders)
 	}{
-		{"run out", 1, func(r *rig, first Orders) {
-			r.now += ticketLife
-			r.hear("w1", 1, nil, endsOf(first, jobs.ResultDone)...)
+		{"ticket expired", 1, func(r *fixture, first Orders) {
+			r.now += ticketValidity
+			r.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultDone)...)
 		}},
-		{"new life", 2, func(r *rig, _ Orders) { r.hear("w1", 2, nil) }},
-		{"refused", 1, func(r *rig, first Orders) { r.hear("w1", 1, nil, endsOf(first, jobs.ResultRefused)...) }},
+		{"new incarnation", 2, func(r *fixture, _ Orders) { r.heartbeat("w1", 2, nil) }},
+		{"refused", 1, func(r *fixture, first Orders) { r.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultRefused)...) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := newAdvisedRig()
+			r := newAdvisedFixture()
 			r.submit("a", two)
-			r.hear("w1", 1, nil)
-			r.HandleOutcome(question(t, r.Pass(r.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, r.now)
-			first := orders(r.Pass(r.now), "w1")
+			r.heartbeat("w1", 1, nil)
+			r.HandleOutcome(adviceRequest(t, r.Pass(r.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, r.now)
+			first := ordersFor(r.Pass(r.now), "w1")
 			assert.Equal(t, len(first.Starts), 1)
 			r.now += 100
 			c.then(r, first)
 			p := r.Pass(r.now)
-			assert.Equal(t, len(orders(p, "w1").Starts), 0)
-			r.HandleOutcome(question(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, r.now)
-			r.hear("w1", c.life, nil)
-			assert.Equal(t, orders(r.Pass(r.now), "w1").Starts[0].Ticket, "again")
+			assert.Equal(t, len(ordersFor(p, "w1").Starts), 0)
+			r.HandleOutcome(adviceRequest(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, r.now)
+			r.heartbeat("w1", c.life, nil)
+			assert.Equal(t, ordersFor(r.Pass(r.now), "w1").Starts[0].Ticket, "again")
 		})
 	}
 }
 
-// TestQuestionSize plays a fleet of which few may run a step. A question that
-// names the whole fleet takes long and is paid for, one that names too few is
-// followed by others.
-func TestQuestionSize(t *testing.T) {
-	r := newAdvisedRig()
+// TestAdviceRequestSize uses a fleet in which few workers may run a step. A
+// request that names all workers is slow and expensive, and one that names too
+// few has to be followed by others.
+func TestAdviceRequestSize(t *testing.T) {
+	r := newAdvisedFixture()
 	for n := range 40 {
-		r.hear("w"+string(rune('0'+n/10))+string(rune('0'+n%10)), 1, nil)
+		r.heartbeat("w"+string(rune('0'+n/10))+string(rune('0'+n%10)), 1, nil)
 	}
-	r.submit("a", small)
-	a := question(t, r.Pass(r.now))
+	r.submit("a", smallStep)
+	a := adviceRequest(t, r.Pass(r.now))
 	assert.Equal(t, len(a.Workers), 3)
 	r.HandleOutcome(a, Outcome{}, r.now)
-	r.hear("w00", 1, nil)
-	assert.Assert(t, len(question(t, r.Pass(r.now)).Workers) > 3)
-	assert.Equal(t, r.advice.counts["q"], adviceCount{named: 3})
+	r.heartbeat("w00", 1, nil)
+	assert.Assert(t, len(adviceRequest(t, r.Pass(r.now)).Workers) > 3)
+	assert.Equal(t, r.advice.counts["q"], adviceCount{requested: 3})
 	r.Cancel("a", r.now)
 	assert.Equal(t, len(r.advice.steps), 0)
 }
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -8,63 +8,65 @@
 	"camphorridge/core/state/place"
 )
 
-// fleet returns a board with workers that each run ten tasks and have room for
-// more, in pools of 70, and the heartbeat that each would send.
-func fleet(n int) (*testBoard, []Heartbeat) {
-	s := jobs.New()
+// benchmarkFleet returns a scheduler with n workers in pools of 70, each
+// running ten tasks with capacity for more, and the next heartbeat of each
+// worker.
+func benchmarkFleet(n int) (*testScheduler, []Heartbeat) {
+	state := jobs.New()
 	c := jobs.Config{Version: 1}
 	for p := range (n + 69) / 70 {
 		name := fmt.Sprint("p", p)
 		c.Pools = append(c.Pools, jobs.Pool{Name: jobs.PoolName(name)})
 		c.Queues = append(c.Queues, jobs.Queue{Name: jobs.QueueName(name), Host: name, Prefix: "/", Pool: jobs.PoolName(name), MaxAttempts: 3, Target: 1 << 40})
 	}
-	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
-	b := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000)
-	beats := make([]Heartbeat, n)
-	for i := range beats {
+	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
+	s := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000)
+	heartbeats := make([]Heartbeat, n)
+	for i := range heartbeats {
 		pool := jobs.PoolName(fmt.Sprint("p", i/70))
-		beats[i] = Heartbeat{
+		heartbeats[i] = Heartbeat{
 			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: pool,
 			Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Labels: []string{"a", "r-1"},
 		}
-		b.Submit(jobs.Job{ID: jobs.ID(fmt.Sprint("j", i)), Queue: jobs.QueueName(pool), Pool: pool, MaxAttempts: 3, Target: 1 << 40, Steps: []jobs.Step{
+		s.Submit(jobs.Job{ID: jobs.ID(fmt.Sprint("j", i)), Queue: jobs.QueueName(pool), Pool: pool, MaxAttempts: 3, Target: 1 << 40, Steps: []jobs.Step{
 			{TaskCount: 10, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 60_000},
 		}}, 1000)
 	}
-	for i := range beats {
-		beats[i].Seq++
-		beats[i].ReceivedAt = 1000
-		b.Heartbeat(beats[i], 1000)
+	for i := range heartbeats {
+		heartbeats[i].Seq++
+		heartbeats[i].ReceivedAt = 1000
+		s.Heartbeat(heartbeats[i], 1000)
 	}
-	for _, o := range b.Pass(1000).Orders {
-		for i := range beats {
-			if beats[i].Worker == o.Worker {
+	for _, o := range s.Pass(1000).Orders {
+		for i := range heartbeats {
+			if heartbeats[i].Worker == o.Worker {
 				for _, st := range o.Starts {
-					beats[i].Running = append(beats[i].Running, RunStatus{Task: st.Task, Run: st.Run, Percent: 1})
+					heartbeats[i].Running = append(heartbeats[i].Running, RunStatus{Task: st.Task, Run: st.Run, Percent: 1})
 				}
 			}
 		}
 	}
-	return b, beats
+	return s, heartbeats
 }
 
-// BenchmarkBeat measures a heartbeat without news and the pass after it, at
-// fleets of several sizes: the cost has to follow what changed.
-func BenchmarkBeat(b *testing.B) {
+// BenchmarkHeartbeat measures a heartbeat without changes and the pass after it
+// for several fleet sizes. The cost must depend on what has changed, not on the
+// size.
+func BenchmarkHeartbeat(b *testing.B) {
 	for _, n := range []int{50, 350, 5100} {
 		b.Run(fmt.Sprint(n, "-workers"), func(b *testing.B) {
-			board, beats := fleet(n)
-			now := board.began
+			s, heartbeats := benchmarkFleet(n)
+			now := s.termStart
 			i := 0
 			for b.Loop() {
-				h := &beats[i%n]
+				h := &heartbeats[i%n]
 				if i++; i%n == 0 {
 					now += 500
 				}
 				h.Seq += 1
 				h.ReceivedAt = now
-				board.Heartbeat(*h, now)
-				board.Pass(now)
+				s.Heartbeat(*h, now)
+				s.Pass(now)
 			}
 		})
 	}
--- a/core/state/sched/doc.go
+++ b/core/state/sched/doc.go
@@ -1,8 +1,8 @@
-// Package sched decides which worker runs which task of the submitted jobs,
-// when a task is stopped, and when a machine is maintained. It answers
-// heartbeats: a worker takes orders only in the answer to one.
+// Package sched assigns the tasks of submitted jobs to workers, stops them, and
+// schedules the maintenance and moves of machines. It works by answering
+// heartbeats: a worker accepts orders only in the reply to one.
 //
-// The board works on the leader's own copy of the jobs' state. Each decision
-// is an operation on that state, and the orders that follow from it may be
-// sent only once the operation is committed.
+// The Scheduler works on the leader's own copy of the state of package jobs.
+// Each decision is an operation on that state, and the orders that follow from
+// it may be sent only once the operation is committed.
 package sched
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -8,36 +8,40 @@
 	"camphorridge/core/state/jobs"
 )
 
-// WaitReason is what keeps waiting tasks from starting.
+// WaitReason is the reason why waiting tasks do not start.
 type WaitReason string
 
-// The limits, in the order in which they are looked at.
+// The wait reasons, in the order in which they are checked.
 const (
 	WaitNone WaitReason = ""
-	// WaitNotDue: the occurrence is not due.
+	// WaitNotDue means that the occurrence is not due.
 	WaitNotDue WaitReason = "not-due"
-	// WaitDependencies: an earlier step is not done.
+	// WaitDependencies means that a step that this one depends on is not done.
 	WaitDependencies WaitReason = "earlier-steps"
-	// WaitNoWorkers: the pool has no worker that was heard lately.
+	// WaitNoWorkers means that no worker of the pool has sent a heartbeat
+	// recently.
 	WaitNoWorkers WaitReason = "no-workers"
-	// WaitLabel: no worker has the required label.
+	// WaitLabel means that no worker has the required label.
 	WaitLabel WaitReason = "label"
-	// WaitSize: no worker is large enough, even if it ran nothing.
+	// WaitSize means that no worker is large enough, even without other tasks.
 	WaitSize WaitReason = "size"
-	// WaitLeaving: the workers drain, or their machines are to be maintained or
-	// moved.
+	// WaitLeaving means that the workers are draining, or that their machines
+	// are to be maintained or moved.
 	WaitLeaving WaitReason = "leaving"
-	// WaitQuarantine: the workers are set aside for their failures.
+	// WaitQuarantine means that the workers are quarantined because of
+	// failures.
 	WaitQuarantine WaitReason = "set-aside"
-	// WaitAdvice: the advice service has named no worker.
+	// WaitAdvice means that the advice service has approved no worker.
 	WaitAdvice WaitReason = "advice"
-	// WaitPerWorker: each worker runs as many tasks of the step as it may.
+	// WaitPerWorker means that each worker runs the maximum number of tasks of
+	// the step.
 	WaitPerWorker WaitReason = "per-worker"
-	// WaitCapacity: other tasks take the workers' room.
+	// WaitCapacity means that other tasks take the workers' capacity.
 	WaitCapacity WaitReason = "room"
-	// WaitGang: the workers have room for some of a gang's tasks, not for all.
+	// WaitGang means that the workers have enough free resources for some tasks
+	// of a gang, but not for all.
 	WaitGang WaitReason = "gang-room"
-	// WaitHeartbeat: a worker may take a task at its next heartbeat.
+	// WaitHeartbeat means that a worker may get the task at its next heartbeat.
 	WaitHeartbeat WaitReason = "heartbeat"
 )
 
@@ -49,14 +53,14 @@
 	Done       int
 	Running    int
 	Waiting    int
-	// Runs counts the starts of all tasks, and Fails the failed ones.
+	// Runs counts the starts of all tasks, and Failures the failed runs.
 	Runs     int
 	Failures int
-	// WaitReason binds the waiting tasks.
+	// WaitReason applies to the waiting tasks.
 	WaitReason WaitReason
 }
 
-// RunReport is a task that is assigned to a worker.
+// RunReport describes a run of a task that is assigned to a worker.
 type RunReport struct {
 	Task       jobs.TaskID
 	Run        int
@@ -66,7 +70,7 @@
 	StopReason string
 }
 
-// JobReport says how far a job is and what it waits for.
+// JobReport describes the progress of a job and what it waits for.
 type JobReport struct {
 	JobSummary
 	Pool jobs.PoolName
@@ -77,7 +81,7 @@
 	Runs    []RunReport
 }
 
-// JobSummary is a job in a list.
+// JobSummary describes a job in a list.
 type JobSummary struct {
 	ID         jobs.ID
 	Queue      jobs.QueueName
@@ -87,95 +91,96 @@
 	Deadline clock.Millis
 }
 
-func lineOf(r *jobs.Record) JobSummary {
+func summarize(r *jobs.Record) JobSummary {
 	return JobSummary{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, Deadline: Deadline(r, len(r.Occurrences)-1)}
 }
 
-// List returns the jobs that have not ended, the oldest first and at most a
-// number of them, and how many there are.
-func (b *Scheduler[O, J]) List(most int) (lines []JobSummary, total int) {
-	var open []*jobs.Record
-	for _, r := range b.State.Jobs {
+// List returns up to most jobs that have not ended, the oldest first, and the
+// total number of them.
+func (s *Scheduler[P, H]) List(limit int) (lines []JobSummary, total int) {
+	var unfinished []*jobs.Record
+	for _, r := range s.State.Jobs {
 		if !r.Status.Final() {
-			open = append(open, r)
+			unfinished = append(unfinished, r)
 		}
 	}
-	slices.SortFunc(open, func(x, y *jobs.Record) int { return cmp.Compare(x.Seq, y.Seq) })
-	for _, r := range open[:min(len(open), most)] {
-		lines = append(lines, lineOf(r))
+	slices.SortFunc(unfinished, func(x, y *jobs.Record) int { return cmp.Compare(x.Seq, y.Seq) })
+	for _, r := range unfinished[:min(len(unfinished), limit)] {
+		lines = append(lines, summarize(r))
 	}
-	return lines, len(open)
+	return lines, len(unfinished)
 }
 
-// Explain reports on a job; false for one that is not known.
-func (b *Scheduler[O, J]) Explain(id jobs.ID, now clock.Millis) (JobReport, bool) {
-	r := b.State.Jobs[id]
+// Explain returns a report on a job; false if the job is unknown.
+func (s *Scheduler[P, H]) Explain(id jobs.ID, now clock.Millis) (JobReport, bool) {
+	r := s.State.Jobs[id]
 	if r == nil {
 		return JobReport{}, false
 	}
-	x := JobReport{JobSummary: lineOf(r), Pool: b.poolOf(r), Now: now, EndedAt: r.EndedAt}
-	for k := range r.Occurrences {
-		for i := range r.Steps {
-			x.Steps = append(x.Steps, b.explainStep(r, k, i, now))
+	report := JobReport{JobSummary: summarize(r), Pool: s.poolOf(r), Now: now, EndedAt: r.EndedAt}
+	for occurrence := range r.Occurrences {
+		for step := range r.Steps {
+			report.Steps = append(report.Steps, s.explainStep(r, occurrence, step, now))
 		}
 	}
 	for t, state := range r.Tasks() {
-		if w, run := b.assigned(t, state); run != nil {
-			x.Runs = append(x.Runs, RunReport{
-				Task: t, Run: run.number, Worker: w.id, Percent: run.percent, StartedAt: run.started, StopReason: run.why,
+		if w, run := s.assignedRun(t, state); run != nil {
+			report.Runs = append(report.Runs, RunReport{
+				Task: t, Run: run.number, Worker: w.id, Percent: run.percent, StartedAt: run.assignedAt, StopReason: run.stopReason,
 			})
 		}
 	}
-	return x, true
+	return report, true
 }
 
-func (b *Scheduler[O, J]) explainStep(r *jobs.Record, k, i int, now clock.Millis) StepReport {
-	st := &r.Occurrences[k].Steps[i]
-	x := StepReport{Occurrence: k, Step: i, Tasks: len(st.Tasks), Done: st.DoneTasks, Failures: r.Failures(k, i)}
-	for _, t := range st.Tasks {
-		x.Runs += t.Run
+func (s *Scheduler[P, H]) explainStep(r *jobs.Record, occurrence, step int, now clock.Millis) StepReport {
+	stepState := &r.Occurrences[occurrence].Steps[step]
+	report := StepReport{Occurrence: occurrence, Step: step, Tasks: len(stepState.Tasks), Done: stepState.DoneTasks, Failures: r.Failures(occurrence, step)}
+	for _, t := range stepState.Tasks {
+		report.Runs += t.Run
 		switch t.Phase {
 		case jobs.PhaseWaiting:
-			x.Waiting++
+			report.Waiting++
 		case jobs.PhaseAssigned:
-			x.Running++
+			report.Running++
 		}
 	}
 	switch {
-	case x.Waiting == 0 || r.Status.Final():
-	case r.Due(k) > now:
-		x.WaitReason = WaitNotDue
-	case !r.Ready(k, i):
-		x.WaitReason = WaitDependencies
+	case report.Waiting == 0 || r.Status.Final():
+	case r.Due(occurrence) > now:
+		report.WaitReason = WaitNotDue
+	case !r.Ready(occurrence, step):
+		report.WaitReason = WaitDependencies
 	default:
-		x.WaitReason = b.limitOf(r, k, i, now)
+		report.WaitReason = s.waitReason(r, occurrence, step, now)
 	}
-	return x
+	return report
 }
 
-// limitOf passes the workers of the pool through what a task asks of them, one
-// after the other, and returns what the last of them fail.
-func (b *Scheduler[O, J]) limitOf(r *jobs.Record, k, i int, now clock.Millis) WaitReason {
-	p := b.pool(b.poolOf(r))
-	g := &group{key: groupKey{r.ID, k, i}, rec: r, step: &r.Steps[i]}
-	need := counted(g.step)
-	left := slices.Collect(b.heard(p, now))
-	for _, c := range []struct {
+// waitReason filters the live workers of the pool by each requirement of the
+// task in turn, and returns the reason of the first one that no remaining
+// worker meets.
+func (s *Scheduler[P, H]) waitReason(r *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
+	p := s.pool(s.poolOf(r))
+	g := &taskGroup{key: stepKey{r.ID, occurrence, step}, rec: r, step: &r.Steps[step]}
+	need := reservation(g.step)
+	left := slices.Collect(s.liveWorkers(p, now))
+	for _, check := range []struct {
 		limit WaitReason
 		holds func(*worker) bool
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
-		{WaitLabel, func(w *worker) bool { return w.labelled(g) }},
-		{WaitSize, func(w *worker) bool { return need.Fits(w.room) }},
-		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.held && !w.leaving && !w.parting }},
-		{WaitQuarantine, func(w *worker) bool { return w.aside <= now }},
-		{WaitAdvice, func(w *worker) bool { return b.allowed(w, g, now) }},
-		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker }},
-		{WaitCapacity, func(w *worker) bool { return need.Fits(w.room.Minus(w.used)) }},
+		{WaitLabel, func(w *worker) bool { return w.hasLabel(g) }},
+		{WaitSize, func(w *worker) bool { return need.Fits(w.capacity) }},
+		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.cordoned && !w.goingDown && !w.vacating }},
+		{WaitQuarantine, func(w *worker) bool { return w.quarantinedUntil <= now }},
+		{WaitAdvice, func(w *worker) bool { return s.adviceAllows(w, g, now) }},
+		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
+		{WaitCapacity, func(w *worker) bool { return need.Fits(w.capacity.Minus(w.used)) }},
 	} {
-		left = slices.DeleteFunc(left, func(w *worker) bool { return !c.holds(w) })
+		left = slices.DeleteFunc(left, func(w *worker) bool { return !check.holds(w) })
 		if len(left) == 0 {
-			return c.limit
+			return check.limit
 		}
 	}
 	if g.step.Gang {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -9,44 +9,46 @@
 	"camphorridge/core/state/jobs"
 )
 
-// roomMillis is how long a gang waits for its room to come about by itself.
-// After that smaller work no longer takes the room that becomes free.
-const roomMillis clock.Millis = 200
+// gangWaitMillis is how long a gang waits before lower-ranked tasks are kept
+// off the resources that become free.
+const gangWaitMillis clock.Millis = 200
 
-// startGang starts all tasks of a gang at once, and reports whether it could or
-// none of them may start now.
-func (b *Scheduler[O, J]) startGang(p *pool, g *group, now clock.Millis) bool {
+// startGang starts all tasks of a gang at once if there is room for them. It
+// returns false only if the gang is ready to start but cannot be placed.
+func (s *Scheduler[P, H]) startGang(p *pool, g *taskGroup, now clock.Millis) bool {
 	if len(g.waiting) < g.step.TaskCount {
 		return true
 	}
-	workers := b.seats(p, g, now)
+	workers := s.chooseGangWorkers(p, g, now)
 	if workers == nil {
 		return false
 	}
-	// All of them were started as often, so that they share the run number.
+	// All tasks of a gang have been started equally often, so they share the
+	// run number.
 	for n, w := range workers {
-		b.start(w, g, g.key.task(n), now)
+		s.startTask(w, g, g.key.taskID(n), now)
 	}
 	g.waiting = g.waiting[:0]
 	return true
 }
 
-// seats picks a present worker for each task of a gang; nil when there is not
-// room for all of them. A gang for one rack waits for it for as long as one of
-// its tasks takes, because it works more slowly on several.
-func (b *Scheduler[O, J]) seats(p *pool, g *group, now clock.Millis) []*worker {
+// chooseGangWorkers returns an available worker for each task of a gang, or nil
+// if not all tasks can be placed. A gang with SameRack works more slowly on
+// several racks, so it waits for one rack for as long as one of its tasks
+// takes.
+func (s *Scheduler[P, H]) chooseGangWorkers(p *pool, g *taskGroup, now clock.Millis) []*worker {
 	if !g.step.SameRack {
-		return b.gather(p, g, "", now)
+		return s.chooseFromRack(p, g, "", now)
 	}
-	for _, rack := range racks(p.present) {
-		if workers := b.gather(p, g, rack, now); workers != nil {
+	for _, rack := range racks(p.available) {
+		if workers := s.chooseFromRack(p, g, rack, now); workers != nil {
 			return workers
 		}
 	}
-	if _, rack := b.capacity(p, g, now); rack >= g.step.TaskCount && now-g.since < g.step.Estimate {
+	if _, rack := s.gangCapacity(p, g, now); rack >= g.step.TaskCount && now-g.waitingSince < g.step.Estimate {
 		return nil
 	}
-	return b.gather(p, g, "", now)
+	return s.chooseFromRack(p, g, "", now)
 }
 
 func racks(workers map[jobs.WorkerID]*worker) []string {
@@ -57,22 +59,24 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// gather picks present workers of a rack, or of any if rack is empty. Workers on
-// the rack of the data go first and then fuller ones, as for single tasks.
-func (b *Scheduler[O, J]) gather(p *pool, g *group, rack string, now clock.Millis) []*worker {
-	failed := b.failedWorkers(g)
-	order := slices.SortedFunc(maps.Values(p.present), func(x, y *worker) int {
-		if s, t := b.score(x, g), b.score(y, g); s.better(t) {
+// chooseFromRack returns an available worker of a rack, or of any rack if rack
+// is empty, for each task of a gang; nil if not all tasks can be placed. As for
+// single tasks, workers on the rack of the data are preferred, then fuller
+// ones.
+func (s *Scheduler[P, H]) chooseFromRack(p *pool, g *taskGroup, rack string, now clock.Millis) []*worker {
+	failed := s.failedWorkers(g)
+	byScore := slices.SortedFunc(maps.Values(p.available), func(x, y *worker) int {
+		if scoreX, scoreY := s.score(x, g), s.score(y, g); scoreX.better(scoreY) {
 			return -1
 		}
 		return 1
 	})
 	var chosen []*worker
-	for _, w := range order {
-		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.since < elsewhereMillis) || !b.may(w, g, now) {
+	for _, w := range byScore {
+		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.waitingSince < otherWorkerMillis) || !s.canRun(w, g, now) {
 			continue
 		}
-		for range min(w.seats(w.room.Minus(w.used), g), g.step.TaskCount-len(chosen)) {
+		for range min(w.fitCount(w.capacity.Minus(w.used), g), g.step.TaskCount-len(chosen)) {
 			chosen = append(chosen, w)
 		}
 	}
@@ -82,37 +86,39 @@
 	return chosen
 }
 
-// failedWorkers holds the workers on which tasks of the group failed last.
-func (b *Scheduler[O, J]) failedWorkers(g *group) map[jobs.WorkerID]bool {
+// failedWorkers returns the workers on which tasks of the group failed last.
+func (s *Scheduler[P, H]) failedWorkers(g *taskGroup) map[jobs.WorkerID]bool {
 	failed := map[jobs.WorkerID]bool{}
 	for n := range g.step.TaskCount {
-		if id, ok := b.failedOn[g.key.task(n)]; ok {
+		if id, ok := s.lastFailedOn[g.key.taskID(n)]; ok {
 			failed[id] = true
 		}
 	}
 	return failed
 }
 
-// seats counts the tasks of a group that fit into room on the worker.
-func (w *worker) seats(room jobs.Resources, g *group) int {
-	need, n := counted(g.step), 0
-	most := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
-	for n < most && need.Fits(room) {
-		room = room.Minus(need)
+// fitCount returns how many tasks of the group fit into the free resources of
+// the worker.
+func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
+	need, n := reservation(g.step), 0
+	limit := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
+	for n < limit && need.Fits(free) {
+		free = free.Minus(need)
 		n++
 	}
 	return n
 }
 
-// capacity counts the tasks of a group that the pool's workers, and those of
-// its best rack, could run once all that ends by itself has ended.
-func (b *Scheduler[O, J]) capacity(p *pool, g *group, now clock.Millis) (whole, rack int) {
+// gangCapacity returns the number of tasks of the group that the pool's
+// workers, and the workers of its best rack, can run once all tasks except
+// long-running ones have ended.
+func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (whole, rack int) {
 	byRack := map[string]int{}
-	for w := range b.heard(p, now) {
-		if !b.takes(w, g, now) || !b.allowed(w, g, now) {
+	for w := range s.liveWorkers(p, now) {
+		if !s.acceptsGroup(w, g, now) || !s.adviceAllows(w, g, now) {
 			continue
 		}
-		n := w.seats(w.beside(), g)
+		n := w.fitCount(w.capacityForFinite(), g)
 		whole += n
 		byRack[w.rack] += n
 		rack = max(rack, byRack[w.rack])
@@ -120,48 +126,52 @@
 	return whole, rack
 }
 
-// beside is the worker's room that its lasting tasks leave.
-func (w *worker) beside() jobs.Resources {
-	room := w.room
+// capacityForFinite returns the part of the worker's capacity that its
+// long-running tasks do not reserve.
+func (w *worker) capacityForFinite() jobs.Resources {
+	free := w.capacity
 	for _, r := range w.runs {
 		if r.step.LongRunning {
-			room = room.Minus(counted(r.step))
+			free = free.Minus(reservation(r.step))
 		}
 	}
-	return room
+	return free
 }
 
-// keepRoom reports whether work that comes after a gang has to leave the free
-// room of the pool to it: without that a wide gang never finds enough at once.
-// A gang that the pool cannot hold, or that waits for advice, keeps none.
-func (b *Scheduler[O, J]) keepRoom(p *pool, g *group, now clock.Millis) bool {
-	if g.rank.Class == classLate || now-g.since < roomMillis {
+// reservesCapacity reports whether lower-ranked work must leave the free
+// resources of the pool to a gang. Otherwise a wide gang would never find
+// enough of them at once. A gang that is late, that the pool cannot hold or
+// that waits for advice reserves none.
+func (s *Scheduler[P, H]) reservesCapacity(p *pool, g *taskGroup, now clock.Millis) bool {
+	if g.rank.Class == classLate || now-g.waitingSince < gangWaitMillis {
 		return false
 	}
-	whole, _ := b.capacity(p, g, now)
+	whole, _ := s.gangCapacity(p, g, now)
 	return whole >= g.step.TaskCount
 }
 
-// breakGang stops the other tasks of a gang when one has ended before its work
-// was done: they cannot work without it, and start again all together.
-func (b *Scheduler[O, J]) breakGang(r *jobs.Record, t jobs.TaskID) {
+// stopGang stops the other tasks of a gang after a task has ended before the
+// gang's work was done. They cannot work without it, and all of them start
+// again together.
+func (s *Scheduler[P, H]) stopGang(r *jobs.Record, t jobs.TaskID) {
 	if !r.Steps[t.Step].Gang {
 		return
 	}
-	st := &r.Occurrences[t.Occurrence].Steps[t.Step]
-	for n := range st.Tasks {
-		id := keyOf(t).task(n)
-		if w, x := b.assigned(id, &st.Tasks[n]); x != nil {
-			b.stop(w, x, "another task of its gang ended")
+	state := &r.Occurrences[t.Occurrence].Steps[t.Step]
+	for n := range state.Tasks {
+		id := stepKeyOf(t).taskID(n)
+		if w, x := s.assignedRun(id, &state.Tasks[n]); x != nil {
+			s.stopRun(w, x, "another task of its gang ended")
 		}
 	}
 }
 
-// adoptGangs stops what is left of gangs that broke in an earlier term.
-func (b *Scheduler[O, J]) adoptGangs(r *jobs.Record) {
+// stopBrokenGangs stops the remaining tasks of gangs that lost a task in an
+// earlier term.
+func (s *Scheduler[P, H]) stopBrokenGangs(r *jobs.Record) {
 	for id, t := range r.Tasks() {
 		if t.Phase == jobs.PhaseWaiting && t.Run > 0 {
-			b.breakGang(r, id)
+			s.stopGang(r, id)
 		}
 	}
 }
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -2,7 +2,7 @@
 
 import "camphorridge/core/state/jobs"
 
-// Decision names what a note explains; logs carry it.
+// Decision names the decision that a note explains. It is written to logs.
 type Decision string
 
 // The decisions.
@@ -26,15 +26,15 @@
 	DecisionMaintenanceDropped  Decision = "maintenance-dropped"
 )
 
-// Decisions lists all decisions, for the page that explains them.
+// Decisions lists all decisions, for the documentation page that explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
 	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionMaintenanceDropped,
 }
 
-// finalDecision returns the decision that gave a job its final status; empty for
-// another status.
+// finalDecision returns the decision that corresponds to a job's final status;
+// empty for other statuses.
 func finalDecision(s jobs.Status) Decision {
 	switch s {
 	case jobs.StatusCompleted:
@@ -48,29 +48,29 @@
 }
 
 // Note explains one decision. Task and Run are set for a decision on a run, and
-// Task.Job alone for one on a job.
+// only Task.Job for a decision on a job.
 type Note struct {
 	Decision Decision
 	Task     jobs.TaskID
 	Run      int
 	Worker   jobs.WorkerID
 	Reason   string
-	// Important is set for a decision that a caller may complain about; its line
-	// is kept when others are dropped.
+	// Important is set for a decision that a caller may complain about. Its log
+	// line is kept when others are dropped.
 	Important bool
 }
 
-// noteRun explains a decision on a run.
-func (b *Scheduler[O, J]) noteRun(what Decision, r *run, w *worker, reason string) {
-	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
+// noteRun adds a note on a run to the plan.
+func (s *Scheduler[P, H]) noteRun(what Decision, r *run, w *worker, reason string) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
 }
 
-// noteJob explains a decision on a whole job.
-func (b *Scheduler[O, J]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
-	b.out.Notes = append(b.out.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: failure})
+// noteJob adds a note on a job to the plan.
+func (s *Scheduler[P, H]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: failure})
 }
 
-// noteFleet explains a decision on machines or pools.
-func (b *Scheduler[O, J]) noteFleet(what Decision, reason string) {
-	b.out.Notes = append(b.out.Notes, Note{Decision: what, Reason: reason})
+// noteFleet adds a note on machines or pools to the plan.
+func (s *Scheduler[P, H]) noteFleet(what Decision, reason string) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: what, Reason: reason})
 }
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -9,280 +9,292 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Pass decides what to do now. Orders may be sent once the plan's operations
-// are committed. Its cost follows what changed since the last one, not the size
-// of the fleet.
-func (b *Scheduler[O, J]) Pass(now clock.Millis) Plan {
-	b.now = max(b.now, now)
-	b.expire(now)
-	b.release(now)
-	b.maintain(now)
-	for p := range b.dirty {
-		b.passPool(p, now)
+// Pass makes the scheduling decisions that are due. The plan's orders may be
+// sent only once its operations are committed. The cost of a pass depends on
+// what has changed since the last one, not on the size of the fleet.
+func (s *Scheduler[P, H]) Pass(now clock.Millis) Plan {
+	s.now = max(s.now, now)
+	s.expireLeases(now)
+	s.queueDueOccurrences(now)
+	s.advanceWaves(now)
+	for p := range s.dirtyPools {
+		s.placePool(p, now)
 	}
-	clear(b.dirty)
-	b.surge(now)
-	b.answer(now)
-	plan := b.out
-	plan.NextPass = b.wake(now)
-	b.out = Plan{}
+	clear(s.dirtyPools)
+	s.rebalance(now)
+	s.reply(now)
+	plan := s.plan
+	plan.NextPass = s.nextPass(now)
+	s.plan = Plan{}
 	return plan
 }
 
-// expire ends the runs of workers whose longest lease has ended.
-func (b *Scheduler[O, J]) expire(now clock.Millis) {
-	for b.leases.Len() > 0 && b.leases.Top().at < now {
-		w := b.leases.Pop().w
-		if b.workers[w.id] != w {
+// expireLeases ends the runs of workers whose longest possible lease has ended.
+func (s *Scheduler[P, H]) expireLeases(now clock.Millis) {
+	for s.leaseEnds.Len() > 0 && s.leaseEnds.Top().at < now {
+		w := s.leaseEnds.Pop().w
+		if s.workers[w.id] != w {
 			continue
 		}
-		if w.until >= now {
-			b.leases.Push(dueLease{at: w.until, w: w})
+		if w.leaseUntil >= now {
+			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 			continue
 		}
-		b.lose(w, "the worker's lease ended", now)
-		delete(b.pool(w.pool).present, w.id)
-		w.beat = nil
-		// It is looked at again when it is heard.
-		w.expired = true
+		s.loseRuns(w, "the worker's lease ended", now)
+		delete(s.pool(w.pool).available, w.id)
+		w.heartbeat = nil
+		// The next heartbeat adds the lease again.
+		w.leaseExpired = true
 	}
 }
 
-// watch stops tasks that make no progress, so that they start elsewhere.
-func (b *Scheduler[O, J]) watch(w *worker, now clock.Millis) {
+// stopStalledRuns stops tasks that make no progress, so that they start
+// elsewhere, and quarantines their worker.
+func (s *Scheduler[P, H]) stopStalledRuns(w *worker, now clock.Millis) {
 	for _, r := range w.runs {
-		// A filler may stand still because others leave it no processor time.
+		// A best-effort task may stall because other tasks leave no processor
+		// time to it.
 		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
 			continue
 		}
-		if now-r.moved > b.set.StallMillis+r.step.Estimate/4 {
-			b.stop(w, r, "it makes no progress")
-			w.weight = max(w.weight, b.judge.Threshold()/2)
-			w.aside = max(w.aside, now+b.set.QuarantineMillis)
+		if now-r.progressedAt > s.settings.StallMillis+r.step.Estimate/4 {
+			s.stopRun(w, r, "it makes no progress")
+			w.failureScore = max(w.failureScore, s.healthPolicy.Threshold()/2)
+			w.quarantinedUntil = max(w.quarantinedUntil, now+s.settings.QuarantineMillis)
 		}
 	}
 }
 
-// passPool starts waiting tasks on the present workers of a pool.
-func (b *Scheduler[O, J]) passPool(p *pool, now clock.Millis) {
-	if len(p.groups) == 0 || len(p.present) == 0 {
+// placePool assigns waiting tasks to the available workers of a pool.
+func (s *Scheduler[P, H]) placePool(p *pool, now clock.Millis) {
+	if len(p.groups) == 0 || len(p.available) == 0 {
 		return
 	}
-	b.arrange(p, now)
-	// failed holds the sizes that no present worker had room for.
-	var failed []jobs.Resources
+	s.sortGroups(p, now)
+	// unplaceable holds the reservations for which no available worker has
+	// enough free resources.
+	var unplaceable []jobs.Resources
 	for _, g := range p.groups {
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
 			continue
 		}
-		need := counted(g.step)
+		need := reservation(g.step)
 		if g.step.Gang {
-			if b.startGang(p, g, now) {
+			if s.startGang(p, g, now) {
 				continue
 			}
-			b.ask(p, g, now)
-			if b.keepRoom(p, g, now) {
+			s.requestAdvice(p, g, now)
+			if s.reservesCapacity(p, g, now) {
 				return
 			}
 			continue
 		}
-		if slices.ContainsFunc(failed, func(s jobs.Resources) bool { return s.Fits(need) }) {
+		if slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.Fits(need) }) {
 			continue
 		}
 		for len(g.waiting) > 0 {
-			n := len(g.waiting) - 1
-			t := g.key.task(g.waiting[n])
-			w, roomy := b.choose(p, g, t, now)
+			last := len(g.waiting) - 1
+			t := g.key.taskID(g.waiting[last])
+			w, hasCapacity := s.chooseWorker(p, g, t, now)
 			if w == nil {
-				if !roomy {
-					failed = append(failed, need)
+				if !hasCapacity {
+					unplaceable = append(unplaceable, need)
 				}
-				b.ask(p, g, now)
+				s.requestAdvice(p, g, now)
 				break
 			}
-			g.waiting = g.waiting[:n]
-			b.start(w, g, t, now)
+			g.waiting = g.waiting[:last]
+			s.startTask(w, g, t, now)
 		}
 	}
 }
 
-// start assigns a task to a worker; the order is part of the worker's answer.
-func (b *Scheduler[O, J]) start(w *worker, g *group, t jobs.TaskID, now clock.Millis) {
+// startTask assigns a task to a worker. The start order is part of the reply to
+// the worker's heartbeat.
+func (s *Scheduler[P, H]) startTask(w *worker, g *taskGroup, t jobs.TaskID, now clock.Millis) {
 	state := g.rec.Task(t)
-	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, started: now, moved: now, saved: state.Checkpoint}
-	b.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Incarnation: w.life}, now)
-	b.attach(w, r)
-	w.beat.starts = append(w.beat.starts, b.startOf(w, r))
-	b.answerBy(w, now)
-	b.noteRun(DecisionStarted, r, w, "")
+	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, assignedAt: now, progressedAt: now, checkpoint: state.Checkpoint}
+	s.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Incarnation: w.incarnation}, now)
+	s.addRun(w, r)
+	w.heartbeat.starts = append(w.heartbeat.starts, s.startOrder(w, r))
+	s.replyBy(w, now)
+	s.noteRun(DecisionStarted, r, w, "")
 }
 
-// elsewhereMillis is how long a task that failed waits for a worker other than
-// the one that it failed on; there may be none.
-const elsewhereMillis = clock.Second
+// otherWorkerMillis is how long a task waits for a worker other than the one it
+// failed on. Its pool may have no other.
+const otherWorkerMillis = clock.Second
 
-// choose picks the worker for a task of a group. roomy tells that a worker had
-// room and was passed over for another reason.
-func (b *Scheduler[O, J]) choose(p *pool, g *group, t jobs.TaskID, now clock.Millis) (best *worker, roomy bool) {
-	need := counted(g.step)
-	failed := b.failedOn[t]
-	var top score
-	for _, w := range p.present {
-		if !need.Fits(w.room.Minus(w.used)) {
+// chooseWorker returns the best worker for a task of a group, or nil if there
+// is none. hasCapacity reports whether any worker has enough free resources,
+// even if it was excluded for another reason.
+func (s *Scheduler[P, H]) chooseWorker(p *pool, g *taskGroup, t jobs.TaskID, now clock.Millis) (best *worker, hasCapacity bool) {
+	need := reservation(g.step)
+	failed := s.lastFailedOn[t]
+	var bestScore score
+	for _, w := range p.available {
+		if !need.Fits(w.capacity.Minus(w.used)) {
 			continue
 		}
-		roomy = true
-		if (w.id == failed && now-g.since < elsewhereMillis) || !b.may(w, g, now) {
+		hasCapacity = true
+		if (w.id == failed && now-g.waitingSince < otherWorkerMillis) || !s.canRun(w, g, now) {
 			continue
 		}
-		if s := b.score(w, g); best == nil || s.better(top) {
-			best, top = w, s
+		if candidate := s.score(w, g); best == nil || candidate.better(bestScore) {
+			best, bestScore = w, candidate
 		}
 	}
-	return best, roomy
+	return best, hasCapacity
 }
 
-// may reports whether a present worker may run one more task of the group, room
-// aside.
-func (b *Scheduler[O, J]) may(w *worker, g *group, now clock.Millis) bool {
-	return w.beat != nil && b.takes(w, g, now) && b.allowed(w, g, now) && (g.step.MaxPerWorker == 0 || w.count(g.key) < g.step.MaxPerWorker)
+// canRun reports whether a worker may run one more task of the group,
+// regardless of its free resources.
+func (s *Scheduler[P, H]) canRun(w *worker, g *taskGroup, now clock.Millis) bool {
+	return w.heartbeat != nil && s.acceptsGroup(w, g, now) && s.adviceAllows(w, g, now) && (g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker)
 }
 
-// takes reports whether a worker takes tasks like those of the group.
-func (b *Scheduler[O, J]) takes(w *worker, g *group, now clock.Millis) bool {
-	if w.draining || w.held || w.leaving || w.parting || w.aside > now {
+// acceptsGroup reports whether a worker accepts new tasks and has the label
+// that the group requires.
+func (s *Scheduler[P, H]) acceptsGroup(w *worker, g *taskGroup, now clock.Millis) bool {
+	if w.draining || w.cordoned || w.goingDown || w.vacating || w.quarantinedUntil > now {
 		return false
 	}
-	return w.labelled(g)
+	return w.hasLabel(g)
 }
 
-// labelled reports whether the worker has the label that the group requires.
-func (w *worker) labelled(g *group) bool {
+// hasLabel reports whether the worker has the label that the group requires, if
+// any.
+func (w *worker) hasLabel(g *taskGroup) bool {
 	return g.step.RequiredLabel == "" || slices.Contains(w.labels, g.step.RequiredLabel)
 }
 
-// count is the number of the group's tasks on the worker.
-func (w *worker) count(k groupKey) int {
+// taskCount returns the number of the step's tasks that are assigned to the
+// worker.
+func (w *worker) taskCount(k stepKey) int {
 	n := 0
 	for t := range w.runs {
-		if keyOf(t) == k {
+		if stepKeyOf(t) == k {
 			n++
 		}
 	}
 	return n
 }
 
-// score compares workers that may run a task.
+// score ranks the workers that may run a task.
 type score struct {
-	// near is set on the rack of the data, or of the step's other tasks.
-	near bool
-	// together weighs what the task is to be kept apart from.
-	together int
-	// free is the room that is left; a fuller worker is better, so that others
-	// run nothing and can be moved or turned off.
+	// nearData is set if the worker is on the rack of the step's data.
+	nearData bool
+	// spreadCost is the cost of running a long-running task next to the tasks
+	// that it should be kept apart from.
+	spreadCost int
+	// free is the number of free milli-cores. A fuller worker is preferred, so
+	// that other workers run nothing and can be moved or powered off.
 	free int
 	id   jobs.WorkerID
 }
 
 func (s score) better(t score) bool {
-	if s.near != t.near {
-		return s.near
+	if s.nearData != t.nearData {
+		return s.nearData
 	}
-	return cmp.Or(cmp.Compare(t.together, s.together), cmp.Compare(t.free, s.free), cmp.Compare(t.id, s.id)) > 0
+	return cmp.Or(cmp.Compare(t.spreadCost, s.spreadCost), cmp.Compare(t.free, s.free), cmp.Compare(t.id, s.id)) > 0
 }
 
-func (b *Scheduler[O, J]) score(w *worker, g *group) score {
-	s := score{free: w.room.MilliCores - w.used.MilliCores, id: w.id}
-	s.near = g.step.DataRack != "" && g.step.DataRack == w.rack
+func (s *Scheduler[P, H]) score(w *worker, g *taskGroup) score {
+	result := score{free: w.capacity.MilliCores - w.used.MilliCores, id: w.id}
+	result.nearData = g.step.DataRack != "" && g.step.DataRack == w.rack
 	if g.step.LongRunning {
-		s.together = b.together(w, g)
+		result.spreadCost = s.spreadCost(w, g)
 	}
-	return s
+	return result
 }
 
-// The weights of what speaks against a worker for a lasting task: a task of the
-// same step beside it, a filler beside a serving task, and a worker that runs no
-// lasting task yet. The last keeps workers free that can be moved or turned off.
+// The costs of placing a long-running task on a worker: for each task of the
+// same step on it, for each long-running task on it of which exactly one of the
+// two is best-effort, and for a worker without long-running tasks. The last one
+// keeps workers free that can be moved or powered off.
 const (
-	sameStepWeight = 100
-	mixedWeight    = 10
-	openWeight     = 5
+	sameStepCost         = 100
+	mixedCost            = 10
+	firstLongRunningCost = 5
 )
 
-// together weighs the lasting tasks of the step that would be lost with the
-// worker or its rack, and the tasks that a filler would disturb.
-func (b *Scheduler[O, J]) together(w *worker, g *group) int {
-	n := sameStepWeight * w.count(g.key)
-	if !w.serves() {
-		n += openWeight
+// spreadCost weighs the tasks of the step that would be lost together with the
+// worker or its rack, and the serving tasks that a best-effort task would
+// disturb.
+func (s *Scheduler[P, H]) spreadCost(w *worker, g *taskGroup) int {
+	cost := sameStepCost * w.taskCount(g.key)
+	if !w.hasLongRunning() {
+		cost += firstLongRunningCost
 	}
-	for _, x := range b.pool(w.pool).present {
+	for _, x := range s.pool(w.pool).available {
 		if x != w && x.rack == w.rack && w.rack != "" {
-			n += x.count(g.key)
+			cost += x.taskCount(g.key)
 		}
 	}
 	for _, r := range w.runs {
 		if r.step.LongRunning && (r.step.BestEffort != g.step.BestEffort) {
-			n += mixedWeight
+			cost += mixedCost
 		}
 	}
-	return n
+	return cost
 }
 
-// answer makes the answers to the heartbeats that are due.
-func (b *Scheduler[O, J]) answer(now clock.Millis) {
-	for b.answers.Len() > 0 && b.answers.Top().at <= now {
-		d := b.answers.Pop()
+// reply adds to the plan the replies to the heartbeats that are due.
+func (s *Scheduler[P, H]) reply(now clock.Millis) {
+	for s.replyDeadlines.Len() > 0 && s.replyDeadlines.Top().at <= now {
+		d := s.replyDeadlines.Pop()
 		w := d.w
-		if w.beat != d.beat || w.beat.due != d.at {
+		if w.heartbeat != d.heartbeat || w.heartbeat.replyBy != d.at {
 			continue
 		}
-		b.out.Orders = append(b.out.Orders, Orders{
-			Worker: w.id, Incarnation: w.life, AckUpTo: w.beat.ack, Starts: w.beat.starts, Stops: w.beat.stops, Throttles: w.beat.rates,
-			RetryAfter: b.retry(w, now), LeaseGranted: true,
+		s.plan.Orders = append(s.plan.Orders, Orders{
+			Worker: w.id, Incarnation: w.incarnation, AckUpTo: w.heartbeat.ackUpTo, Starts: w.heartbeat.starts, Stops: w.heartbeat.stops, Throttles: w.heartbeat.throttles,
+			RetryAfter: s.retryAfter(w, now), LeaseGranted: true,
 		})
-		w.beat = nil
-		delete(b.pool(w.pool).present, w.id)
+		w.heartbeat = nil
+		delete(s.pool(w.pool).available, w.id)
 	}
 }
 
-// retry is the pause until a worker's next heartbeat: until shortly after the
-// next end that is expected, or short for a worker that waits for work.
-func (b *Scheduler[O, J]) retry(w *worker, now clock.Millis) clock.Millis {
-	end, ok := w.nextEnd(now)
+// retryAfter returns the pause until a worker's next heartbeat: it ends shortly
+// after the next expected end of a task, or after the minimum for a worker
+// without such tasks.
+func (s *Scheduler[P, H]) retryAfter(w *worker, now clock.Millis) clock.Millis {
+	end, ok := w.predictNextEnd(now)
 	if !ok {
-		return b.set.MinRetryMillis
+		return s.settings.MinRetryMillis
 	}
-	most := b.set.MaxRetryMillis
-	if b.pool(w.pool).waits() {
-		// The room of a task that ends is wanted at once.
-		most = 2 * b.set.MinRetryMillis
+	longest := s.settings.MaxRetryMillis
+	if s.pool(w.pool).hasWaiting() {
+		// A waiting task should get the free resources as soon as a task ends.
+		longest = 2 * s.settings.MinRetryMillis
 	}
-	return min(max(end-now, b.set.MinRetryMillis), most)
+	return min(max(end-now, s.settings.MinRetryMillis), longest)
 }
 
-// wake is when the next pass is due.
-func (b *Scheduler[O, J]) wake(now clock.Millis) clock.Millis {
-	at := now + b.set.MaxHoldMillis
-	if b.answers.Len() > 0 {
-		at = min(at, b.answers.Top().at)
+// nextPass returns when the next pass is due.
+func (s *Scheduler[P, H]) nextPass(now clock.Millis) clock.Millis {
+	at := now + s.settings.MaxHoldMillis
+	if s.replyDeadlines.Len() > 0 {
+		at = min(at, s.replyDeadlines.Top().at)
 	}
-	if b.leases.Len() > 0 {
-		at = min(at, b.leases.Top().at+1)
+	if s.leaseEnds.Len() > 0 {
+		at = min(at, s.leaseEnds.Top().at+1)
 	}
-	if b.later.Len() > 0 {
-		at = min(at, b.later.Top().due)
+	if s.scheduled.Len() > 0 {
+		at = min(at, s.scheduled.Top().dueAt)
 	}
-	if b.fleet.next > now {
-		at = min(at, b.fleet.next)
+	if s.fleet.nextRebalance > now {
+		at = min(at, s.fleet.nextRebalance)
 	}
-	if t, ok := b.maintenanceDue(now); ok {
+	if t, ok := s.nextMaintenanceCheck(now); ok {
 		at = min(at, t)
 	}
 	return max(at, now+1)
 }
 
-func sortedTasks(m map[jobs.TaskID]*run) []jobs.TaskID {
+func sortedTaskIDs(m map[jobs.TaskID]*run) []jobs.TaskID {
 	return slices.SortedFunc(maps.Keys(m), func(a, b jobs.TaskID) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
 			cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -10,144 +10,156 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Times of moves.
+// Timing of machine moves between pools.
 const (
-	// surgePeriod separates two looks at the load of the pools.
-	surgePeriod clock.Millis = 200
-	// listRetry separates two readings of the list of machines when the first
-	// failed, and listPeriod two that succeeded.
-	listRetry  = clock.Second
-	listPeriod = 20 * clock.Second
-	// moveLost is how long a move may take until the machine is looked for
-	// again.
-	moveLost = 5 * clock.Second
-	// moveRetry keeps a machine from being tried again at once after a refusal.
-	moveRetry = clock.Second
-	// unplacedMillis is how long a lasting task waits until its pool wants
-	// another machine for it: as long as a heartbeat may be held back.
-	unplacedMillis clock.Millis = 800
-	// notePeriod separates two reports of the load.
-	notePeriod = 2 * clock.Second
+	// rebalancePeriodMillis is the interval between two checks of the load of
+	// the pools.
+	rebalancePeriodMillis clock.Millis = 200
+	// listRetryMillis is the interval between two requests for the list of
+	// machines before the first success, and listPeriodMillis after it.
+	listRetryMillis  = clock.Second
+	listPeriodMillis = 20 * clock.Second
+	// moveTimeoutMillis is how long a move may take before the scheduler gives
+	// up on it.
+	moveTimeoutMillis = 5 * clock.Second
+	// moveRetryMillis is the pause before a machine is moved again after its
+	// move was refused.
+	moveRetryMillis = clock.Second
+	// unplacedWaitMillis is how long a long-running task waits before its pool
+	// requests another machine for it. It covers the longest delay of a reply
+	// to a heartbeat.
+	unplacedWaitMillis clock.Millis = 800
+	// loadNotePeriodMillis is the interval between two notes about the load of
+	// the pools.
+	loadNotePeriodMillis = 2 * clock.Second
 )
 
-// machines is what is known of the machines beside their workers.
-type machines struct {
-	// standby holds the machines that are off, by the standby pool they are in.
+// machineFleet is the state of the machines apart from their workers.
+type machineFleet struct {
+	// standby holds the machines that are powered off, with their standby pool.
 	standby map[jobs.MachineID]jobs.PoolName
-	// moves holds the machines on their way, and spent those that refused a
-	// move, until a time.
-	moves map[jobs.MachineID]move
-	spent map[jobs.MachineID]clock.Millis
-	// room is the size of a machine by its pool.
-	room jobs.Resources
-	// listing is set while a list is on its way; listed is when the last came.
-	listing bool
-	// unlisted is set when a reading of the list failed.
-	unlisted bool
-	asked    clock.Millis
-	listed   clock.Millis
-	// worked is set once work that ends was handed in.
-	worked bool
-	// next is the time of the next look, and noted that of the last line.
-	next  clock.Millis
-	noted clock.Millis
+	// moves holds the machines that are being moved. notMovableUntil holds the
+	// time before which a machine is not moved, after a refused or unanswered
+	// move or a move to standby.
+	moves           map[jobs.MachineID]machineMove
+	notMovableUntil map[jobs.MachineID]clock.Millis
+	// machineSize is the capacity of the largest machine seen.
+	machineSize jobs.Resources
+	// listPending is set while a request for the list of machines is pending.
+	listPending bool
+	// listFailed is set once a request for the list has failed. listRequestedAt
+	// is the time of the latest request, and listedAt that of the latest list;
+	// 0 for none.
+	listFailed      bool
+	listRequestedAt clock.Millis
+	listedAt        clock.Millis
+	// hadFiniteWork is set once a job without long-running tasks was submitted.
+	hadFiniteWork bool
+	// nextRebalance is the time of the next check of the load, and notedAt that
+	// of the latest notes about it.
+	nextRebalance clock.Millis
+	notedAt       clock.Millis
 }
 
-// move is a machine on its way to a pool.
-type move struct {
+// machineMove is the move of a machine to another pool.
+type machineMove struct {
 	to jobs.PoolName
-	// life is that of the machine's worker at the order; 0 for none.
-	life jobs.Incarnation
-	at   clock.Millis
+	// incarnation is that of the machine's worker when the move was ordered; 0
+	// for no worker.
+	incarnation jobs.Incarnation
+	orderedAt   clock.Millis
 }
 
-func newMachines() machines {
-	return machines{
-		standby: map[jobs.MachineID]jobs.PoolName{}, moves: map[jobs.MachineID]move{}, spent: map[jobs.MachineID]clock.Millis{},
+func newMachineFleet() machineFleet {
+	return machineFleet{
+		standby: map[jobs.MachineID]jobs.PoolName{}, moves: map[jobs.MachineID]machineMove{}, notMovableUntil: map[jobs.MachineID]clock.Millis{},
 	}
 }
 
-// demand is the load of one pool.
-type demand struct {
+// poolLoad is the load of one pool.
+type poolLoad struct {
 	name jobs.PoolName
-	// have counts the machines of the pool and those on their way to it, and
-	// want is the number that starts its waiting work in time.
+	// have counts the machines of the pool and those being moved to it. want is
+	// the number of machines that can start its waiting work in time.
 	have int
 	want int
-	// idle lists the machines that run nothing, the longest first, and busy
-	// those that run tasks that end, the least busy first.
+	// idle lists the workers that run nothing, the longest idle first. busy
+	// lists the workers that run only tasks that end, those being vacated and
+	// then the least busy first.
 	idle []*worker
 	busy []*worker
 }
 
-// surge moves machines to pools whose waiting work does not start in time:
-// those that are off, and idle ones of other pools. Machines that stay idle go
-// off. It answers loads that rise to several times their mean for seconds, by
-// turns, while a move takes about a second and a half.
-func (b *Scheduler[O, J]) surge(now clock.Millis) {
-	if b.set.BacklogTargetMillis == 0 || now < b.fleet.next || now < b.began+b.set.TakeoverDelayMillis {
+// rebalance moves machines to pools whose waiting work does not start in time:
+// first machines that are powered off, then idle machines of other pools.
+// Machines that stay idle are moved to the standby pool. It is designed for
+// loads that rise in turn to several times their mean for some seconds, while a
+// move takes about a second and a half.
+func (s *Scheduler[P, H]) rebalance(now clock.Millis) {
+	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance || now < s.termStart+s.settings.TakeoverDelayMillis {
 		return
 	}
-	b.fleet.next = now + surgePeriod
-	standby := b.standbyPool()
-	if standby == "" || !b.list(now) {
+	s.fleet.nextRebalance = now + rebalancePeriodMillis
+	standby := s.standbyPool()
+	if standby == "" || !s.refreshMachineList(now) {
 		return
 	}
-	for m, v := range b.fleet.moves {
-		if now-v.at > moveLost {
-			delete(b.fleet.moves, m)
-			b.stay(b.machines[m], v.life)
+	for m, move := range s.fleet.moves {
+		if now-move.orderedAt > moveTimeoutMillis {
+			delete(s.fleet.moves, m)
+			s.makeAvailable(s.workerByMachine[m], move.incarnation)
 		}
 	}
-	loads := b.loads(now)
-	b.noteLoads(loads, now)
-	lack := 0
-	for _, d := range loads {
-		for n := d.want - d.have; n > 0; n-- {
-			if !b.bring(d, loads, now) {
-				lack += n
+	loads := s.poolLoads(now)
+	s.noteLoads(loads, now)
+	missing := 0
+	for _, load := range loads {
+		for n := load.want - load.have; n > 0; n-- {
+			if !s.bringMachine(load, loads, now) {
+				missing += n
 				break
 			}
 		}
 	}
-	b.part(loads, lack)
-	if b.worked() {
-		b.dismiss(loads, standby, now)
+	s.vacateWorkers(loads, missing)
+	if s.hadFiniteWork() {
+		s.releaseIdle(loads, standby, now)
 	}
 }
 
-// worked reports whether work that ends was handed in. Before that a fleet that
-// has only started would be turned off just ahead of its first load.
-func (b *Scheduler[O, J]) worked() bool {
-	if !b.fleet.worked {
-		for _, r := range b.State.Jobs {
-			b.fleet.worked = b.fleet.worked || !lasting(&r.Job)
+// hadFiniteWork reports whether a job without long-running tasks was submitted.
+// Without this check a newly started fleet would be powered off just before its
+// first load.
+func (s *Scheduler[P, H]) hadFiniteWork() bool {
+	if !s.fleet.hadFiniteWork {
+		for _, r := range s.State.Jobs {
+			s.fleet.hadFiniteWork = s.fleet.hadFiniteWork || !hasLongRunningStep(&r.Job)
 		}
 	}
-	return b.fleet.worked
+	return s.fleet.hadFiniteWork
 }
 
-// noteLoads adds a line for each pool to the plan every few seconds.
-func (b *Scheduler[O, J]) noteLoads(loads []*demand, now clock.Millis) {
-	if now < b.fleet.noted+notePeriod {
+// noteLoads adds a note on the load of each pool to the plan every few seconds.
+func (s *Scheduler[P, H]) noteLoads(loads []*poolLoad, now clock.Millis) {
+	if now < s.fleet.notedAt+loadNotePeriodMillis {
 		return
 	}
-	b.fleet.noted = now
-	for _, d := range loads {
+	s.fleet.notedAt = now
+	for _, load := range loads {
 		serving := 0
-		for _, w := range b.workers {
-			if w.pool == d.name && w.serves() {
+		for _, w := range s.workers {
+			if w.pool == load.name && w.hasLongRunning() {
 				serving++
 			}
 		}
-		b.noteFleet(DecisionPoolLoad, fmt.Sprintf(
+		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
-			d.name, d.have, d.want, len(d.idle), serving, b.pool(d.name).work()/1000))
+			load.name, load.have, load.want, len(load.idle), serving, s.pool(load.name).waitingWork()/1000))
 	}
 }
 
-// serves reports whether lasting tasks run on the worker.
-func (w *worker) serves() bool {
+// hasLongRunning reports whether the worker runs a long-running task.
+func (w *worker) hasLongRunning() bool {
 	for _, r := range w.runs {
 		if r.step.LongRunning {
 			return true
@@ -156,9 +168,9 @@
 	return false
 }
 
-// standbyPool names the pool whose machines are off; empty for none.
-func (b *Scheduler[O, J]) standbyPool() jobs.PoolName {
-	for _, p := range b.State.Config.Pools {
+// standbyPool returns the pool whose machines are powered off; empty for none.
+func (s *Scheduler[P, H]) standbyPool() jobs.PoolName {
+	for _, p := range s.State.Config.Pools {
 		if p.Standby {
 			return p.Name
 		}
@@ -166,129 +178,131 @@
 	return ""
 }
 
-// list asks for the list of machines when it is old, and reports whether one
-// has come, or failed to come, in this term.
-func (b *Scheduler[O, J]) list(now clock.Millis) bool {
-	f := &b.fleet
-	wait := listPeriod
-	if f.listed == 0 {
-		wait = listRetry
-	}
-	if !f.listing && (f.asked == 0 || now-f.asked >= wait) {
-		f.listing, f.asked = true, now
-		b.out.Actions = append(b.out.Actions, Action{Kind: ActionListMachines})
-	}
-	return f.listed != 0 || f.unlisted
+// refreshMachineList requests the list of machines when the latest one is old.
+// It reports whether a list was received, or a request failed, in this term.
+func (s *Scheduler[P, H]) refreshMachineList(now clock.Millis) bool {
+	f := &s.fleet
+	interval := listPeriodMillis
+	if f.listedAt == 0 {
+		interval = listRetryMillis
+	}
+	if !f.listPending && (f.listRequestedAt == 0 || now-f.listRequestedAt >= interval) {
+		f.listPending, f.listRequestedAt = true, now
+		s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionListMachines})
+	}
+	return f.listedAt != 0 || f.listFailed
 }
 
-// machinesListed takes the list of machines.
-func (b *Scheduler[O, J]) machinesListed(o Outcome, now clock.Millis) {
-	f := &b.fleet
-	f.listing = false
-	if o.Answer != AnswerDone {
-		// Machines that are off are not known, but those of the pools are.
-		f.unlisted = true
-		b.noteFleet(DecisionListFailed, o.String())
+// handleMachineList processes the list of machines.
+func (s *Scheduler[P, H]) handleMachineList(outcome Outcome, now clock.Millis) {
+	f := &s.fleet
+	f.listPending = false
+	if outcome.Answer != AnswerDone {
+		// Without a list the standby machines are unknown, but machines can
+		// still be moved between pools.
+		f.listFailed = true
+		s.noteFleet(DecisionListFailed, outcome.String())
 		return
 	}
-	f.listed = now
-	off := map[jobs.PoolName]bool{}
-	for _, p := range b.State.Config.Pools {
-		off[p.Name] = p.Standby
+	f.listedAt = now
+	standby := map[jobs.PoolName]bool{}
+	for _, p := range s.State.Config.Pools {
+		standby[p.Name] = p.Standby
 	}
 	clear(f.standby)
-	listed := make(map[jobs.MachineID]bool, len(o.Machines))
-	for _, m := range o.Machines {
+	listed := make(map[jobs.MachineID]bool, len(outcome.Machines))
+	for _, m := range outcome.Machines {
 		listed[m.ID] = true
-		if f.room.MilliCores < m.Capacity.MilliCores {
-			f.room = m.Capacity
+		if f.machineSize.MilliCores < m.Capacity.MilliCores {
+			f.machineSize = m.Capacity
 		}
-		if _, moving := f.moves[m.ID]; off[m.Pool] && m.Up && !moving {
+		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Up && !moving {
 			f.standby[m.ID] = m.Pool
 		}
 	}
 	if len(listed) > 0 {
-		b.dropMissing(listed, now)
+		s.dropMissingMachines(listed, now)
 	}
 }
 
-// loads measures the pools that have queues, those with the most lacking
-// machines first.
-func (b *Scheduler[O, J]) loads(now clock.Millis) []*demand {
-	by := map[jobs.PoolName]*demand{}
-	for _, p := range b.State.Config.Pools {
+// poolLoads measures the pools that are not standby pools and returns them
+// ordered by the number of missing machines, the most first.
+func (s *Scheduler[P, H]) poolLoads(now clock.Millis) []*poolLoad {
+	byPool := map[jobs.PoolName]*poolLoad{}
+	for _, p := range s.State.Config.Pools {
 		if !p.Standby {
-			by[p.Name] = &demand{name: p.Name}
+			byPool[p.Name] = &poolLoad{name: p.Name}
 		}
 	}
 	busy := map[jobs.PoolName]clock.Millis{}
-	for _, id := range slices.Sorted(maps.Keys(b.workers)) {
-		w := b.workers[id]
-		d := by[w.pool]
-		if d == nil || !w.known || w.draining || w.leaving || w.until < now {
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[id]
+		load := byPool[w.pool]
+		if load == nil || !w.reported || w.draining || w.goingDown || w.leaseUntil < now {
 			continue
 		}
-		b.fleet.room.MilliCores = max(b.fleet.room.MilliCores, w.room.MilliCores)
-		d.have++
-		if w.held || w.aside > now {
-			d.have--
+		s.fleet.machineSize.MilliCores = max(s.fleet.machineSize.MilliCores, w.capacity.MilliCores)
+		load.have++
+		if w.cordoned || w.quarantinedUntil > now {
+			load.have--
 			continue
 		}
-		busy[w.pool] += w.load(now, b.set.BacklogTargetMillis)
-		if len(w.runs)+len(w.strays) == 0 {
-			if w.idle == 0 {
-				w.idle = now
+		busy[w.pool] += w.load(now, s.settings.BacklogTargetMillis)
+		if len(w.runs)+len(w.unassigned) == 0 {
+			if w.idleSince == 0 {
+				w.idleSince = now
 			}
-			d.idle = append(d.idle, w)
-			w.parting = false
+			load.idle = append(load.idle, w)
+			w.vacating = false
 		} else {
-			w.idle = 0
-			if !w.serves() {
-				d.busy = append(d.busy, w)
+			w.idleSince = 0
+			if !w.hasLongRunning() {
+				load.busy = append(load.busy, w)
 			}
 		}
 	}
-	for _, v := range b.fleet.moves {
-		if d := by[v.to]; d != nil {
-			d.have++
+	for _, move := range s.fleet.moves {
+		if load := byPool[move.to]; load != nil {
+			load.have++
 		}
 	}
-	if b.fleet.room.MilliCores == 0 {
+	if s.fleet.machineSize.MilliCores == 0 {
 		return nil
 	}
-	each := b.fleet.room.MilliCores
-	for name, d := range by {
-		p := b.pool(name)
-		p.average()
-		need := int(busy[name] + p.work()/b.set.BacklogTargetMillis + clock.Millis(p.rate))
-		d.want = (need + each - 1) / each
-		if n := b.pool(name).unplaced(now); n > 0 {
-			d.want = max(d.want, d.have+n)
+	perMachine := s.fleet.machineSize.MilliCores
+	for name, load := range byPool {
+		p := s.pool(name)
+		p.updateArrivalRate()
+		need := int(busy[name] + p.waitingWork()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
+		load.want = (need + perMachine - 1) / perMachine
+		if n := s.pool(name).unplacedMachines(now); n > 0 {
+			load.want = max(load.want, load.have+n)
 		}
-		slices.SortStableFunc(d.busy, func(x, y *worker) int {
-			return cmp.Or(-compareBool(x.parting, y.parting), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
+		slices.SortStableFunc(load.busy, func(x, y *worker) int {
+			return cmp.Or(-compareBool(x.vacating, y.vacating), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
 		})
-		slices.SortStableFunc(d.idle, func(x, y *worker) int { return cmp.Compare(x.idle, y.idle) })
+		slices.SortStableFunc(load.idle, func(x, y *worker) int { return cmp.Compare(x.idleSince, y.idleSince) })
 	}
-	return slices.SortedFunc(maps.Values(by), func(x, y *demand) int {
+	return slices.SortedFunc(maps.Values(byPool), func(x, y *poolLoad) int {
 		return cmp.Or(cmp.Compare(y.want-y.have, x.want-x.have), cmp.Compare(x.name, y.name))
 	})
 }
 
-// unplaced is the number of machines that lasting tasks lack which no present
-// one could take, most of all because only so many tasks of a step may be on one
-// worker.
-func (p *pool) unplaced(now clock.Millis) int {
+// unplacedMachines returns the number of machines that waiting long-running
+// tasks still need after no available worker could take them, mostly because
+// the number of tasks of a step on one worker is limited.
+func (p *pool) unplacedMachines(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
-		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.since > unplacedMillis {
-			each := max(g.step.MaxPerWorker, 1)
-			n = max(n, (len(g.waiting)+each-1)/each)
+		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.waitingSince > unplacedWaitMillis {
+			perMachine := max(g.step.MaxPerWorker, 1)
+			n = max(n, (len(g.waiting)+perMachine-1)/perMachine)
 		}
 	}
 	return n
 }
 
+// compareBool orders false before true.
 func compareBool(x, y bool) int {
 	switch {
 	case x == y:
@@ -299,41 +313,45 @@
 	return -1
 }
 
-// ending is the work of some tasks of a step that ends, in thousandths of a
-// processor times milliseconds; 0 for tasks that last or fill.
-func ending(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
+// finiteWork returns the work of some tasks of a step, each of the given
+// duration, in milli-cores times milliseconds; 0 for long-running and
+// best-effort tasks.
+func finiteWork(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
 	if s.LongRunning || s.BestEffort {
 		return 0
 	}
 	return clock.Millis(tasks*s.Resources.MilliCores) * each
 }
 
-// load is the room that the worker's tasks need within a time: all of it for
-// lasting tasks, and for others what is left of their work.
+// load returns the milli-cores that the worker's tasks need to finish within
+// the given time: the whole reservation of a long-running task, and the
+// remaining work of other tasks divided by that time.
 func (w *worker) load(now, within clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	for _, r := range w.runs {
 		if r.step.LongRunning {
-			sum += clock.Millis(counted(r.step).MilliCores)
+			sum += clock.Millis(reservation(r.step).MilliCores)
 			continue
 		}
-		sum += ending(r.step, 1, max(r.started+r.step.Estimate-now, 0)) / within
+		sum += finiteWork(r.step, 1, max(r.assignedAt+r.step.Estimate-now, 0)) / within
 	}
 	return sum
 }
 
-// rateWeight is the part of the latest look in the average of what arrives.
-const rateWeight = 0.3
+// arrivalRateWeight is the weight of the latest sample in the moving average of
+// the arrival rate.
+const arrivalRateWeight = 0.3
 
-// average folds what arrived since the last look into the rate.
-func (p *pool) average() {
-	p.rate += rateWeight * (float64(p.arrived/surgePeriod) - p.rate)
-	p.arrived = 0
+// updateArrivalRate adds the work that arrived since the last call to the
+// moving average.
+func (p *pool) updateArrivalRate() {
+	p.arrivalRate += arrivalRateWeight * (float64(p.newWork/rebalancePeriodMillis) - p.arrivalRate)
+	p.newWork = 0
 }
 
-// work sums the waiting work of a pool that can still be on time, in
-// thousandths of a processor times milliseconds.
-func (p *pool) work() clock.Millis {
+// waitingWork returns the waiting work of a pool that can still meet its
+// deadline, in milli-cores times milliseconds.
+func (p *pool) waitingWork() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
 		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
@@ -341,7 +359,8 @@
 		}
 		length := g.step.Estimate
 		if g.step.LongRunning {
-			// A lasting task holds its room for good.
+			// A long-running task never releases its resources, so its duration
+			// is nominal.
 			length = clock.Second
 		}
 		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * length
@@ -349,122 +368,127 @@
 	return sum
 }
 
-// bring moves one machine to a pool: one that is off, or else the one that is
-// idle for longest in a pool with more than it needs.
-func (b *Scheduler[O, J]) bring(d *demand, loads []*demand, now clock.Millis) bool {
-	for _, m := range slices.Sorted(maps.Keys(b.fleet.standby)) {
-		if b.fleet.spent[m] <= now && !b.inWave(m) {
-			delete(b.fleet.standby, m)
-			b.move(m, 0, d, now)
+// bringMachine moves one machine to a pool: a standby machine or, if there is
+// none, the longest idle machine of a pool that has more than it needs. It
+// reports whether it found one.
+func (s *Scheduler[P, H]) bringMachine(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
+	for _, m := range slices.Sorted(maps.Keys(s.fleet.standby)) {
+		if s.fleet.notMovableUntil[m] <= now && !s.inWave(m) {
+			delete(s.fleet.standby, m)
+			s.orderMove(m, 0, target, now)
 			return true
 		}
 	}
 	for i := len(loads) - 1; i >= 0; i-- {
 		from := loads[i]
-		if from == d || from.have-from.want <= b.set.ReserveMachines {
+		if from == target || from.have-from.want <= s.settings.ReserveMachines {
 			continue
 		}
 		for k, w := range from.idle {
-			if b.fleet.spent[w.machine] > now || w.machine == "" {
+			if s.fleet.notMovableUntil[w.machine] > now || w.machine == "" {
 				continue
 			}
 			from.idle = slices.Delete(from.idle, k, k+1)
 			from.have--
-			w.leaving = true
-			b.move(w.machine, w.life, d, now)
+			w.goingDown = true
+			s.orderMove(w.machine, w.incarnation, target, now)
 			return true
 		}
 	}
 	return false
 }
 
-// part keeps new tasks off the machines of pools with more than they need, as
-// many as others lack: tasks of a second or two would otherwise keep each of
-// them a little busy for as long as the pool has any work.
-func (b *Scheduler[O, J]) part(loads []*demand, lack int) {
+// vacateWorkers keeps new tasks off as many busy workers of pools with more
+// machines than they need as other pools are missing. Otherwise tasks of a
+// second or two would keep each of them a little busy as long as the pool has
+// any work.
+func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
 	for i := len(loads) - 1; i >= 0; i-- {
-		d := loads[i]
-		spare := d.have - d.want - b.set.ReserveMachines
-		for _, w := range d.busy {
-			w.parting = lack > 0 && spare > 0
-			b.dirty[b.pool(w.pool)] = true
-			if w.parting {
-				lack--
-				spare--
+		load := loads[i]
+		surplus := load.have - load.want - s.settings.ReserveMachines
+		for _, w := range load.busy {
+			w.vacating = missing > 0 && surplus > 0
+			s.dirtyPools[s.pool(w.pool)] = true
+			if w.vacating {
+				missing--
+				surplus--
 			}
 		}
 	}
 }
 
-// dismiss sends machines that stay idle to the standby pool.
-func (b *Scheduler[O, J]) dismiss(loads []*demand, standby jobs.PoolName, now clock.Millis) {
-	off := &demand{name: standby}
-	for _, d := range loads {
-		for _, w := range d.idle {
-			if w.leaving || w.machine == "" || d.have-d.want <= b.set.ReserveMachines || now-w.idle < b.set.IdleMillis || b.fleet.spent[w.machine] > now {
+// releaseIdle moves machines that stay idle to the standby pool.
+func (s *Scheduler[P, H]) releaseIdle(loads []*poolLoad, standby jobs.PoolName, now clock.Millis) {
+	target := &poolLoad{name: standby}
+	for _, load := range loads {
+		for _, w := range load.idle {
+			if w.goingDown || w.machine == "" || load.have-load.want <= s.settings.ReserveMachines || now-w.idleSince < s.settings.IdleMillis || s.fleet.notMovableUntil[w.machine] > now {
 				continue
 			}
-			d.have--
-			w.leaving = true
-			b.move(w.machine, w.life, off, now)
+			load.have--
+			w.goingDown = true
+			s.orderMove(w.machine, w.incarnation, target, now)
 		}
 	}
 }
 
-// inWave reports whether a machine may be down for a wave; it is not moved
-// meanwhile.
-func (b *Scheduler[O, J]) inWave(m jobs.MachineID) bool {
-	for _, v := range b.waves {
-		if _, away := v.away[m]; away || v.flying[m] {
+// inWave reports whether a machine may be down for a wave. Such a machine is
+// not moved.
+func (s *Scheduler[P, H]) inWave(m jobs.MachineID) bool {
+	for _, v := range s.waves {
+		if _, isDown := v.down[m]; isDown || v.pending[m] {
 			return true
 		}
 	}
 	return false
 }
 
-func (b *Scheduler[O, J]) move(m jobs.MachineID, life jobs.Incarnation, to *demand, now clock.Millis) {
+// orderMove orders the move of a machine. incarnation is that of its worker; 0
+// for none.
+func (s *Scheduler[P, H]) orderMove(m jobs.MachineID, incarnation jobs.Incarnation, to *poolLoad, now clock.Millis) {
 	to.have++
-	b.fleet.moves[m] = move{to: to.name, life: life, at: now}
-	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
+	s.fleet.moves[m] = machineMove{to: to.name, incarnation: incarnation, orderedAt: now}
+	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
 }
 
-// moved takes the platform's answer to a move.
-func (b *Scheduler[O, J]) moved(a Action, o Outcome, now clock.Millis) {
-	v, ok := b.fleet.moves[a.Machine]
-	if !ok || v.to != a.Pool {
+// handleMove processes the platform's answer to a move.
+func (s *Scheduler[P, H]) handleMove(action Action, outcome Outcome, now clock.Millis) {
+	move, ok := s.fleet.moves[action.Machine]
+	if !ok || move.to != action.Pool {
 		return
 	}
-	w := b.machines[a.Machine]
-	same := w != nil && w.life == v.life
-	if o.Answer != AnswerDone {
-		b.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to %s: %s", a.Machine, a.Pool, o))
+	w := s.workerByMachine[action.Machine]
+	sameIncarnation := w != nil && w.incarnation == move.incarnation
+	if outcome.Answer != AnswerDone {
+		s.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to %s: %s", action.Machine, action.Pool, outcome))
 	}
-	switch o.Answer {
+	switch outcome.Answer {
 	case AnswerDone:
-		b.noteFleet(DecisionMachineMoved, string(a.Machine)+" to "+string(a.Pool))
-		if same {
-			b.remove(w, "its machine is moved", now)
+		s.noteFleet(DecisionMachineMoved, string(action.Machine)+" to "+string(action.Pool))
+		if sameIncarnation {
+			s.dropWorker(w, "its machine is moved", now)
 		}
-		if a.Pool == b.standbyPool() {
-			delete(b.fleet.moves, a.Machine)
-			b.fleet.standby[a.Machine] = a.Pool
-			b.fleet.spent[a.Machine] = now + b.set.MoveMillis
+		if action.Pool == s.standbyPool() {
+			delete(s.fleet.moves, action.Machine)
+			s.fleet.standby[action.Machine] = action.Pool
+			s.fleet.notMovableUntil[action.Machine] = now + s.settings.MoveMillis
 		}
 	case AnswerUnknown:
-		b.fleet.spent[a.Machine] = now + moveLost
+		s.fleet.notMovableUntil[action.Machine] = now + moveTimeoutMillis
 	default:
-		delete(b.fleet.moves, a.Machine)
-		b.fleet.spent[a.Machine] = now + moveRetry
-		if same {
-			w.leaving = false
+		delete(s.fleet.moves, action.Machine)
+		s.fleet.notMovableUntil[action.Machine] = now + moveRetryMillis
+		if sameIncarnation {
+			w.goingDown = false
 		}
 	}
 }
 
-// arrived notes that a moved machine has a worker again.
-func (b *Scheduler[O, J]) arrived(w *worker) {
-	if v, ok := b.fleet.moves[w.machine]; ok && v.life != w.life && v.to == w.pool {
-		delete(b.fleet.moves, w.machine)
+// machineArrived ends the move of a machine whose worker has reported from the
+// target pool.
+func (s *Scheduler[P, H]) machineArrived(w *worker) {
+	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation != w.incarnation && move.to == w.pool {
+		delete(s.fleet.moves, w.machine)
 	}
-	delete(b.fleet.standby, w.machine)
+	delete(s.fleet.standby, w.machine)
 }
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -10,58 +10,60 @@
 	"camphorridge/core/state/place"
 )
 
-// The schedules that CI plays, and the steps of each with troubles and after
-// them.
+// The number of simulations in CI, and the steps of each with and without
+// injected faults.
 const (
-	schedules    = 10_000
-	troubleSteps = 500
-	calmSteps    = 2500
+	simulations    = 10_000
+	faultySteps    = 500
+	faultFreeSteps = 2500
 )
 
-// TestSchedules plays seeded orders of submissions, resends, ends, cancels,
-// lost and late messages, crashes, cuts, drains and changes of leader with a
-// stale one beside it. It guards against a task that runs twice at a time,
-// starts after its good end or its last attempt, or starts before its
-// dependencies or its time, and against a job that never ends.
-func TestSchedules(t *testing.T) {
-	n := schedules
+// TestSimulatedFaults runs seeded random sequences of submissions,
+// resubmissions, run ends, cancellations, lost and late messages, crashes,
+// partitions, drains and changes of leader with a stale leader. It guards
+// against a task that runs twice at the same time, starts after it was done,
+// after its last attempt, before its dependencies or before it is due, and
+// against a job that never ends.
+func TestSimulatedFaults(t *testing.T) {
+	n := simulations
 	if testing.Short() {
 		n /= 20
 	}
 	for seed := range uint64(n) {
-		w := newWorld(seed)
-		for range troubleSteps {
+		w := newSimulation(seed)
+		for range faultySteps {
 			w.step()
 		}
-		w.settle()
-		for i := 0; i < calmSteps && !w.ended(); i++ {
+		w.stopFaults()
+		for i := 0; i < faultFreeSteps && !w.allEnded(); i++ {
 			w.step()
 		}
-		if w.err == nil && !w.ended() {
+		if w.err == nil && !w.allEnded() {
 			w.failf("a job has not ended")
 		}
 		assert.NilError(t, w.err, "seed %d", seed)
 	}
 }
 
-// settle ends the troubles: every worker is replaced by a sound one.
-func (w *world) settle() {
-	w.calm = true
+// stopFaults turns faults off, replaces faulty and draining workers, and
+// cancels long-running jobs.
+func (w *simulation) stopFaults() {
+	w.faultsOff = true
 	for n, x := range w.workers {
-		if x.bad || x.stuck || x.draining {
+		if x.failing || x.stuck || x.draining {
 			x.down = true
-			w.workers[n] = w.newInstance(n)
+			w.workers[n] = w.newWorker(n)
 		}
 	}
 	for id, r := range w.committed.Jobs {
 		if r.Steps[0].LongRunning {
-			w.lead.board.Cancel(id, w.now)
+			w.leader.scheduler.Cancel(id, w.now)
 		}
 	}
 }
 
-// ended reports whether every job has a final status and nothing runs.
-func (w *world) ended() bool {
+// allEnded reports whether every job has a final status and nothing runs.
+func (w *simulation) allEnded() bool {
 	for _, r := range w.committed.Jobs {
 		if !r.Status.Final() {
 			return false
@@ -75,38 +77,39 @@
 	return true
 }
 
-// rig is a board with one pool, which a test drives by hand.
-type rig struct {
-	*testBoard
+// fixture is a scheduler with one pool of workers that a test drives step by
+// step.
+type fixture struct {
+	*testScheduler
 	now clock.Millis
 	seq int64
 }
 
-func newRig(set Settings) *rig {
-	s := jobs.New()
-	s.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
+func newFixture(set Settings) *fixture {
+	state := jobs.New()
+	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p"}, {Name: "other"}, {Name: "off", Standby: true}},
 		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500}},
 	}}}, 1000)
-	return &rig{testBoard: New(set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, s, 1000), now: 1000}
+	return &fixture{testScheduler: New(set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000), now: 1000}
 }
 
-// hear passes a heartbeat of a worker with 16 processors, which runs what is
-// given.
-func (r *rig) hear(id string, life jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
+// heartbeat sends a heartbeat of a worker with 16 processors that runs the
+// given tasks.
+func (r *fixture) heartbeat(id string, incarnation jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
 	r.seq++
 	r.Heartbeat(Heartbeat{
-		Worker: jobs.WorkerID(id), Incarnation: life, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
+		Worker: jobs.WorkerID(id), Incarnation: incarnation, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
 		Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
 	}, r.now)
 }
 
-func (r *rig) submit(id string, steps ...jobs.Step) {
+func (r *fixture) submit(id string, steps ...jobs.Step) {
 	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
 }
 
-// orders returns the orders for a worker of a plan.
-func orders(p Plan, id string) Orders {
+// ordersFor returns the orders in a plan for one worker.
+func ordersFor(p Plan, id string) Orders {
 	for _, o := range p.Orders {
 		if o.Worker == jobs.WorkerID(id) {
 			return o
@@ -115,7 +118,7 @@
 	return Orders{}
 }
 
-func actions(p Plan, kind ActionKind) []Action {
+func actionsOf(p Plan, kind ActionKind) []Action {
 	var out []Action
 	for _, a := range p.Actions {
 		if a.Kind == kind {
@@ -125,74 +128,75 @@
 	return out
 }
 
-var small = jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
+var smallStep = jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
 
 // TestLostStartIsRepeated guards against a task that waits forever because the
-// answer that ordered its start was lost.
+// reply with its start order was lost.
 func TestLostStartIsRepeated(t *testing.T) {
-	r := newRig(Defaults())
-	r.submit("a", small)
-	r.hear("w1", 1, nil)
-	first := orders(r.Pass(r.now), "w1")
+	r := newFixture(Defaults())
+	r.submit("a", smallStep)
+	r.heartbeat("w1", 1, nil)
+	first := ordersFor(r.Pass(r.now), "w1")
 	assert.Equal(t, len(first.Starts), 1)
 	r.now += 100
-	r.hear("w1", 1, nil)
+	r.heartbeat("w1", 1, nil)
 	again := r.Pass(r.now)
-	assert.DeepEqual(t, orders(again, "w1").Starts, first.Starts)
+	assert.DeepEqual(t, ordersFor(again, "w1").Starts, first.Starts)
 	assert.Equal(t, len(again.Ops), 0)
 }
 
-// TestNewLifeFreesTasks guards against tasks that wait for a lease of a worker
-// that has started anew.
-func TestNewLifeFreesTasks(t *testing.T) {
-	r := newRig(Defaults())
-	r.submit("a", small)
-	r.hear("w1", 1, nil)
+// TestNewIncarnationFreesTasks guards against tasks that wait for the lease of
+// a worker that has restarted.
+func TestNewIncarnationFreesTasks(t *testing.T) {
+	r := newFixture(Defaults())
+	r.submit("a", smallStep)
+	r.heartbeat("w1", 1, nil)
 	r.Pass(r.now)
 	r.now += 100
-	r.hear("w1", 2, nil)
-	o := orders(r.Pass(r.now), "w1")
+	r.heartbeat("w1", 2, nil)
+	o := ordersFor(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 1)
 	assert.Equal(t, o.Starts[0].Run, 2)
 }
 
-// TestEarlierLifeIsNotTaken guards against work for a worker that has crashed,
-// when a heartbeat of its earlier life comes late.
-func TestEarlierLifeIsNotTaken(t *testing.T) {
-	r := newRig(Defaults())
-	r.hear("w1", 2, nil)
+// TestEarlierIncarnationIsRejected guards against assigning work to a crashed
+// worker because of a late heartbeat of its earlier incarnation.
+func TestEarlierIncarnationIsRejected(t *testing.T) {
+	r := newFixture(Defaults())
+	r.heartbeat("w1", 2, nil)
 	r.Pass(r.now)
-	r.submit("a", small)
+	r.submit("a", smallStep)
 	r.seq++
 	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 	r.RemoveWorker("w1", 0, r.now)
 	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
 }
 
-// TestPoisonSetsNoWorkerAside guards against one job that can never be done
-// emptying its pool: its failures count once against each worker.
-func TestPoisonSetsNoWorkerAside(t *testing.T) {
-	r := newRig(Defaults())
-	poison := small
-	poison.TaskCount = 8
-	r.submit("bad", poison)
-	r.hear("w1", 1, nil)
-	o := orders(r.Pass(r.now), "w1")
+// TestFailingJobQuarantinesNoWorker guards against one job that can never
+// succeed quarantining all workers of its pool: its failures count once against
+// each worker.
+func TestFailingJobQuarantinesNoWorker(t *testing.T) {
+	r := newFixture(Defaults())
+	failing := smallStep
+	failing.TaskCount = 8
+	r.submit("bad", failing)
+	r.heartbeat("w1", 1, nil)
+	o := ordersFor(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 8)
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
+	r.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
 	r.Pass(r.now)
-	r.submit("good", small)
+	r.submit("good", smallStep)
 	r.now += 100
-	r.hear("w1", 1, nil)
+	r.heartbeat("w1", 1, nil)
 	var started []jobs.ID
-	for _, s := range orders(r.Pass(r.now), "w1").Starts {
+	for _, s := range ordersFor(r.Pass(r.now), "w1").Starts {
 		started = append(started, s.Task.Job)
 	}
 	assert.DeepEqual(t, started, []jobs.ID{"good"})
 }
 
-func endsOf(o Orders, how jobs.Result) []RunEnd {
+func endsFor(o Orders, how jobs.Result) []RunEnd {
 	var out []RunEnd
 	for n, s := range o.Starts {
 		out = append(out, RunEnd{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: how})
@@ -200,83 +204,83 @@
 	return out
 }
 
-// TestBrokenWorkerIsSetAside guards against a worker that fails everything and
-// spends the attempts of job after job.
-func TestBrokenWorkerIsSetAside(t *testing.T) {
-	r := newRig(Defaults())
+// TestBrokenWorkerIsQuarantined guards against a worker on which every task
+// fails and that uses up the attempts of job after job.
+func TestBrokenWorkerIsQuarantined(t *testing.T) {
+	r := newFixture(Defaults())
 	for _, id := range []string{"a", "b", "c"} {
-		r.submit(id, small)
+		r.submit(id, smallStep)
 	}
-	r.hear("w1", 1, nil)
-	o := orders(r.Pass(r.now), "w1")
+	r.heartbeat("w1", 1, nil)
+	o := ordersFor(r.Pass(r.now), "w1")
 	assert.Equal(t, len(o.Starts), 3)
 	r.now += 400
-	r.hear("w1", 1, nil, endsOf(o, jobs.ResultFailed)...)
+	r.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
 	r.Pass(r.now)
-	r.submit("d", small)
+	r.submit("d", smallStep)
 	r.now += 800
-	r.hear("w1", 1, nil)
-	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 0)
-	r.hear("w2", 1, nil)
-	assert.Equal(t, len(orders(r.Pass(r.now), "w2").Starts), 4)
+	r.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 0)
+	r.heartbeat("w2", 1, nil)
+	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w2").Starts), 4)
 }
 
 // TestWaveKeepsAvailability guards against a wave that ends two tasks of a
-// lasting step at a time although one may be away: orders given in one pass
-// count before the platform has answered.
+// long-running step at the same time although only one may be unavailable:
+// orders of one pass must count before the platform has answered.
 func TestWaveKeepsAvailability(t *testing.T) {
-	r := newRig(Defaults())
+	r := newFixture(Defaults())
 	step := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
 	r.submit("serve", step)
-	r.hear("w1", 1, nil)
-	r.hear("w2", 1, nil)
+	r.heartbeat("w1", 1, nil)
+	r.heartbeat("w2", 1, nil)
 	p := r.Pass(r.now)
-	r.now += r.set.TakeoverDelayMillis + 100
+	r.now += r.settings.TakeoverDelayMillis + 100
 	for _, id := range []string{"w1", "w2"} {
-		s := orders(p, id).Starts[0]
-		r.hear(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
+		s := ordersFor(p, id).Starts[0]
+		r.heartbeat(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
 	}
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, r.now)
-	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 1)
+	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMaintain)), 1)
 }
 
-// TestWavePassesMachinesThatAreOff guards against a wave that waits for the
-// return of machines without a worker.
-func TestWavePassesMachinesThatAreOff(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
+// TestWaveIncludesMachinesWithoutWorker guards against a wave that waits
+// forever for the return of machines without a worker.
+func TestWaveIncludesMachinesWithoutWorker(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
-	first := actions(r.Pass(r.now), ActionMaintain)
+	first := actionsOf(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(first), 1)
 	r.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, r.now)
-	assert.Equal(t, len(actions(r.Pass(r.now), ActionMaintain)), 0)
-	r.now += 3 * r.set.MaintenanceMillis
-	second := actions(r.Pass(r.now), ActionMaintain)
+	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMaintain)), 0)
+	r.now += 3 * r.settings.MaintenanceMillis
+	second := actionsOf(r.Pass(r.now), ActionMaintain)
 	assert.Equal(t, len(second), 1)
 	r.HandleOutcome(second[0], Outcome{Answer: AnswerDone}, r.now)
 	assert.Assert(t, r.State.Waves[1].Completed())
 }
 
-// TestNewLeaderKeepsCap guards against more machines down than the cap: an
-// earlier leader had ordered more, because some were refused, and its successor
-// repeated all orders at once.
-func TestNewLeaderKeepsCap(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
+// TestNewLeaderRespectsMaxDown guards against more than MaxDown machines being
+// down. An earlier leader had ordered more, because some orders were refused,
+// and its successor repeated all of them at once.
+func TestNewLeaderRespectsMaxDown(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
 	machines := []jobs.MachineID{"m1", "m2", "m3", "m4", "m5"}
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
 	for range 5 {
-		for _, a := range actions(r.Pass(r.now), ActionMaintain) {
+		for _, a := range actionsOf(r.Pass(r.now), ActionMaintain) {
 			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
-		r.now += upkeepPeriod
+		r.now += maintenancePeriodMillis
 	}
-	next := &rig{testBoard: New(r.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, r.State.Clone(), r.now), now: r.now}
+	next := &fixture{testScheduler: New(r.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, r.State.Clone(), r.now), now: r.now}
 	assert.Assert(t, len(next.State.Waves[1].Ordered) > 2)
 	down := map[jobs.MachineID]clock.Millis{}
 	for range 400 {
-		for _, a := range actions(next.Pass(next.now), ActionMaintain) {
-			down[a.Machine] = next.now + next.set.MaintenanceMillis
+		for _, a := range actionsOf(next.Pass(next.now), ActionMaintain) {
+			down[a.Machine] = next.now + next.settings.MaintenanceMillis
 			next.HandleOutcome(a, Outcome{Answer: AnswerDone}, next.now)
 		}
 		n := 0
@@ -286,26 +290,26 @@
 			}
 		}
 		assert.Assert(t, n <= 2, "%d machines are down", n)
-		next.now += upkeepPeriod
+		next.now += maintenancePeriodMillis
 	}
 	assert.Assert(t, next.State.Waves[1].Completed())
 }
 
-// TestWaveDropsMissingMachines guards against a wave that never ends because
-// the platform refuses a machine that is gone for good.
+// TestWaveDropsMissingMachines guards against a wave that never completes
+// because the platform refuses orders for a machine that no longer exists.
 func TestWaveDropsMissingMachines(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, r.now)
 	lists := 0
 	for range 40 {
 		p := r.Pass(r.now)
-		for _, a := range actions(p, ActionMaintain) {
+		for _, a := range actionsOf(p, ActionMaintain) {
 			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
 		}
-		for _, a := range actions(p, ActionListMachines) {
+		for _, a := range actionsOf(p, ActionListMachines) {
 			lists++
-			// The first list still names the machine.
+			// The first list still contains the machine.
 			machines := []Machine{{ID: "m-other", Pool: "p", Up: true}}
 			if lists == 1 {
 				machines = append(machines, Machine{ID: "m-gone", Pool: "p"})
@@ -318,80 +322,80 @@
 	assert.Assert(t, r.State.Waves[1].Completed())
 }
 
-// TestRepeatedMaintenanceKeepsNewWorker guards against the loss of a worker
-// that came back before the platform answered a repeated order.
+// TestRepeatedMaintenanceKeepsNewWorker guards against dropping a worker that
+// returned before the platform answered a repeated order.
 func TestRepeatedMaintenanceKeepsNewWorker(t *testing.T) {
-	r := newRig(Defaults())
-	r.hear("w1", 1, nil)
+	r := newFixture(Defaults())
+	r.heartbeat("w1", 1, nil)
 	r.Pass(r.now)
-	r.now += r.set.TakeoverDelayMillis
+	r.now += r.settings.TakeoverDelayMillis
 	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
-	order := actions(r.Pass(r.now), ActionMaintain)[0]
+	order := actionsOf(r.Pass(r.now), ActionMaintain)[0]
 	r.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, r.now)
 	r.now += 2500
-	r.hear("w1", 2, nil)
-	again := actions(r.Pass(r.now), ActionMaintain)
-	assert.Equal(t, len(again), 1)
-	r.HandleOutcome(again[0], Outcome{Answer: AnswerDone}, r.now)
+	r.heartbeat("w1", 2, nil)
+	repeated := actionsOf(r.Pass(r.now), ActionMaintain)
+	assert.Equal(t, len(repeated), 1)
+	r.HandleOutcome(repeated[0], Outcome{Answer: AnswerDone}, r.now)
 	r.now += 100
-	r.submit("a", small)
-	r.hear("w1", 2, nil)
+	r.submit("a", smallStep)
+	r.heartbeat("w1", 2, nil)
 	r.Pass(r.now)
 	assert.Assert(t, r.workers["w1"] != nil)
 }
 
-// TestSurgeBringsMachines plays a pool that is asked for more than it holds:
-// callers get their work started in time only with machines that were off.
-func TestSurgeBringsMachines(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
-	r.hear("w1", 1, nil)
+// TestBacklogBringsStandbyMachines submits more work than the pool's machines
+// can start in time, which requires machines of the standby pool.
+func TestBacklogBringsStandbyMachines(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
+	r.heartbeat("w1", 1, nil)
 	p := r.Pass(r.now)
-	assert.Equal(t, len(actions(p, ActionListMachines)), 1)
-	r.HandleOutcome(actions(p, ActionListMachines)[0], Outcome{Machines: []Machine{
+	assert.Equal(t, len(actionsOf(p, ActionListMachines)), 1)
+	r.HandleOutcome(actionsOf(p, ActionListMachines)[0], Outcome{Machines: []Machine{
 		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
 		{ID: "m-w1", Pool: "p", Up: true},
 	}}, r.now)
-	many := small
+	many := smallStep
 	many.TaskCount, many.Estimate = 100, 1000
 	r.submit("surge", many)
-	r.now += surgePeriod
-	moves := actions(r.Pass(r.now), ActionMove)
+	r.now += rebalancePeriodMillis
+	moves := actionsOf(r.Pass(r.now), ActionMove)
 	assert.DeepEqual(t, moves, []Action{{Kind: ActionMove, Machine: "s1", Pool: "p"}, {Kind: ActionMove, Machine: "s2", Pool: "p"}})
 }
 
-// TestLastingTasksGetMachines guards against lasting tasks that wait for good
-// because their step may have one task on a worker and its pool has fewer
+// TestLongRunningTasksGetMachines guards against long-running tasks that wait
+// forever because their step allows one task per worker and the pool has fewer
 // workers than tasks.
-func TestLastingTasksGetMachines(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
+func TestLongRunningTasksGetMachines(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
 	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
-	r.fleet.listed, r.fleet.asked = r.now, r.now
+	r.fleet.listedAt, r.fleet.listRequestedAt = r.now, r.now
 	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
-	r.hear("w1", 1, nil)
-	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Starts), 1)
-	r.now += 2 * unplacedMillis
-	r.hear("w1", 1, nil)
-	assert.Equal(t, len(actions(r.Pass(r.now), ActionMove)), 2)
+	r.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 1)
+	r.now += 2 * unplacedWaitMillis
+	r.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMove)), 2)
 }
 
-// TestIdleMachinesGoOff guards against machines that are paid for while they
-// run nothing, beyond the reserve.
-func TestIdleMachinesGoOff(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
-	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
+// TestIdleMachinesMoveToStandby guards against paying for idle machines beyond
+// the reserve.
+func TestIdleMachinesMoveToStandby(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
+	r.fleet.listedAt, r.fleet.listRequestedAt, r.fleet.hadFiniteWork = r.now, r.now, true
 	ids := []string{"w1", "w2", "w3", "w4"}
 	for range 4 {
 		for _, id := range ids {
-			r.hear(id, 1, nil)
+			r.heartbeat(id, 1, nil)
 		}
 		p := r.Pass(r.now)
-		if moves := actions(p, ActionMove); len(moves) > 0 {
-			assert.Equal(t, len(moves), 4-r.set.ReserveMachines)
+		if moves := actionsOf(p, ActionMove); len(moves) > 0 {
+			assert.Equal(t, len(moves), 4-r.settings.ReserveMachines)
 			assert.Equal(t, moves[0].Pool, jobs.PoolName("off"))
 			return
 		}
@@ -400,69 +404,69 @@
 	t.Fatal("no machine was moved")
 }
 
-// TestLostMoveGivesWorkerBack guards against a worker that gets no task for good
-// because the platform did not answer the order to move its machine.
-func TestLostMoveGivesWorkerBack(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
-	r.fleet.listed, r.fleet.asked, r.fleet.worked = r.now, r.now, true
+// TestUnansweredMoveReleasesWorker guards against a worker that never gets a
+// task again because the platform did not answer the order to move its machine.
+func TestUnansweredMoveReleasesWorker(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
+	r.fleet.listedAt, r.fleet.listRequestedAt, r.fleet.hadFiniteWork = r.now, r.now, true
 	for range 12 {
 		for _, id := range []string{"w1", "w2", "w3"} {
-			r.hear(id, 1, nil)
+			r.heartbeat(id, 1, nil)
 		}
-		for _, a := range actions(r.Pass(r.now), ActionMove) {
+		for _, a := range actionsOf(r.Pass(r.now), ActionMove) {
 			r.HandleOutcome(a, Outcome{Answer: AnswerUnknown}, r.now)
 		}
 		r.now += clock.Second
 	}
 	leaving := 0
 	for _, w := range r.workers {
-		if w.leaving {
+		if w.goingDown {
 			leaving++
 		}
 	}
 	assert.Assert(t, leaving <= 1)
-	r.now += 2 * moveLost
-	wide := small
+	r.now += 2 * moveTimeoutMillis
+	wide := smallStep
 	wide.TaskCount, wide.MaxPerWorker = 3, 1
 	r.submit("a", wide)
 	for range 2 {
 		for _, id := range []string{"w1", "w2", "w3"} {
-			r.hear(id, 1, nil)
+			r.heartbeat(id, 1, nil)
 		}
 		r.Pass(r.now)
-		r.now += surgePeriod
+		r.now += rebalancePeriodMillis
 	}
 	assert.Equal(t, r.State.Jobs["a"].Occurrences[0].Steps[0].Tasks[2].Phase, jobs.PhaseAssigned)
 }
 
-// TestFleetWaitsForItsFirstLoad guards against a fleet that is turned off
-// between its start and its first job, and is missing when that comes.
-func TestFleetWaitsForItsFirstLoad(t *testing.T) {
-	r := newRig(Defaults())
-	r.now += r.set.TakeoverDelayMillis
-	r.fleet.listed, r.fleet.asked = r.now, r.now
+// TestIdleFleetStaysUpBeforeFirstLoad guards against a fleet that is powered
+// off between its start and its first job.
+func TestIdleFleetStaysUpBeforeFirstLoad(t *testing.T) {
+	r := newFixture(Defaults())
+	r.now += r.settings.TakeoverDelayMillis
+	r.fleet.listedAt, r.fleet.listRequestedAt = r.now, r.now
 	for range 10 {
 		for _, id := range []string{"w1", "w2", "w3", "w4"} {
-			r.hear(id, 1, nil)
+			r.heartbeat(id, 1, nil)
 		}
-		assert.Equal(t, len(actions(r.Pass(r.now), ActionMove)), 0)
+		assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMove)), 0)
 		r.now += clock.Second
 	}
 }
 
-// TestLateWorkGoesLast guards against a surge in which every job is started
-// just too late: work that will miss its objective waits for work that can
-// still meet its.
+// TestLateWorkGoesLast guards against a load peak in which every job starts
+// just too late: work that will miss its deadline must wait for work that can
+// still meet it.
 func TestLateWorkGoesLast(t *testing.T) {
-	r := newRig(Defaults())
-	wide := small
+	r := newFixture(Defaults())
+	wide := smallStep
 	wide.TaskCount, wide.Resources.MilliCores = 4, 4000
 	r.submit("old", wide)
 	r.now += 3600
 	r.submit("new", wide)
-	r.hear("w1", 1, nil)
-	starts := orders(r.Pass(r.now), "w1").Starts
+	r.heartbeat("w1", 1, nil)
+	starts := ordersFor(r.Pass(r.now), "w1").Starts
 	assert.Equal(t, len(starts), 4)
 	for _, s := range starts {
 		assert.Equal(t, s.Task.Job, jobs.ID("new"))
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -10,257 +10,265 @@
 	"camphorridge/core/state/place"
 )
 
-// The figures of the simulated fleet.
+// Parameters of the simulated fleet.
 const (
-	worldStep     clock.Millis = 20
-	dropAfter                  = clock.Second
-	confirmAge    clock.Millis = 300
-	gangTimeout                = 3 * clock.Second
-	worldAttempts              = 3
+	stepMillis          clock.Millis = 20
+	answerTimeoutMillis              = clock.Second
+	maxConfirmAgeMillis clock.Millis = 300
+	gangTimeoutMillis                = 3 * clock.Second
+	simAttempts                      = 3
 )
 
-type testBoard = Scheduler[EarliestDeadline, place.PeerComparison]
+type testScheduler = Scheduler[EarliestDeadline, place.PeerComparison]
 
-// leader is a process that leads or believes to. Its board is ahead of the
-// committed state until its operations are committed.
-type leader struct {
-	board     *testBoard
-	token     uint64
-	confirmed clock.Millis
+// simLeader is a process that leads or believes that it does. Its scheduler is
+// ahead of the committed state until its operations are committed.
+type simLeader struct {
+	scheduler   *testScheduler
+	token       uint64
+	confirmedAt clock.Millis
 }
 
-// instance is one life of a simulated worker, which follows the protocol of
-// workers: orders under an old token do nothing, a run number is used once, and
-// everything ends with the lease.
-type instance struct {
-	id      jobs.WorkerID
-	life    jobs.Incarnation
-	machine jobs.MachineID
-	seq     int64
-	token   uint64
-	until   clock.Millis
-	runs    map[jobs.TaskID]*simRun
-	// closed holds the highest run that was stopped or has ended, by task.
-	closed map[jobs.TaskID]int
-	ends   []RunEnd
-	number int64
-	// taker is the leader that took the heartbeat which waits.
-	taker *leader
-	// sent is the time of the heartbeat that waits for its answer; 0 for none.
-	sent clock.Millis
-	next clock.Millis
-	room jobs.Resources
-	down bool
-	// bad workers fail everything, and stuck ones make no progress.
-	bad, stuck bool
-	draining   bool
+// simWorker is one incarnation of a simulated worker. It follows the worker
+// protocol: orders with an old token have no effect, a run number is used only
+// once, and all runs end when the lease expires.
+type simWorker struct {
+	id          jobs.WorkerID
+	incarnation jobs.Incarnation
+	machine     jobs.MachineID
+	seq         int64
+	token       uint64
+	leaseUntil  clock.Millis
+	runs        map[jobs.TaskID]*simRun
+	// closed holds the highest run number that was stopped or has ended, by
+	// task.
+	closed  map[jobs.TaskID]int
+	ends    []RunEnd
+	lastEnd int64
+	// heartbeatLeader is the leader that accepted the pending heartbeat.
+	heartbeatLeader *simLeader
+	// sentAt is when the pending heartbeat was sent; 0 for none.
+	sentAt        clock.Millis
+	nextHeartbeat clock.Millis
+	capacity      jobs.Resources
+	down          bool
+	// The runs of failing workers all fail, and those of stuck workers make no
+	// progress.
+	failing, stuck bool
+	draining       bool
 }
 
 type simRun struct {
-	run   int
-	began clock.Millis
-	takes clock.Millis
-	fails bool
-	saved string
-	// formed is set once all tasks of the run's gang were there.
+	run        int
+	startedAt  clock.Millis
+	duration   clock.Millis
+	fails      bool
+	checkpoint string
+	// formed is set once all tasks of the run's gang were running.
 	formed bool
 }
 
-// answer is an answer on its way to a worker.
-type answer struct {
-	to     *instance
-	orders Orders
-	hold   clock.Millis
-	token  uint64
-	sent   clock.Millis
-	at     clock.Millis
+// simReply is a reply in transit to a worker.
+type simReply struct {
+	to        *simWorker
+	orders    Orders
+	lease     clock.Millis
+	token     uint64
+	sentAt    clock.Millis
+	arrivesAt clock.Millis
 }
 
-// failedRun names a run by the task, or the first task of the gang.
+// failedRun identifies a run by its task or, for a gang, by the first task of
+// the gang.
 type failedRun struct {
 	task jobs.TaskID
 	run  int
 }
 
-// world plays workers against leaders that change, and checks what must hold.
-type world struct {
-	r         *rand.Rand
+// simulation runs simulated workers against changing leaders and checks
+// invariants.
+type simulation struct {
+	rand      *rand.Rand
 	now       clock.Millis
 	committed *jobs.State
-	lead      *leader
-	// stale is an earlier leader that has not noticed yet.
-	stale   *leader
+	leader    *simLeader
+	// stale is an earlier leader that has not noticed yet that it no longer
+	// leads.
+	stale   *simLeader
 	token   uint64
-	workers []*instance
-	answers []answer
-	// done holds the tasks with a noted good end.
+	workers []*simWorker
+	replies []simReply
+	// done holds the tasks that were recorded as done.
 	done  map[jobs.TaskID]bool
 	fails map[jobs.TaskID]int
-	// failed holds the runs that count in fails.
-	failed map[failedRun]bool
-	jobs   int
-	born   jobs.Incarnation
-	set    Settings
-	err    error
-	// calm turns all troubles off.
-	calm bool
+	// failed holds the runs that are counted in fails.
+	failed          map[failedRun]bool
+	submitted       int
+	nextIncarnation jobs.Incarnation
+	set             Settings
+	err             error
+	// faultsOff turns off all injected faults.
+	faultsOff bool
 }
 
-func newWorld(seed uint64) *world {
-	w := &world{
-		r: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
-		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, born: 1, set: Defaults(),
+func newSimulation(seed uint64) *simulation {
+	w := &simulation{
+		rand: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
+		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, nextIncarnation: 1, set: Defaults(),
 	}
 	w.set.BacklogTargetMillis = 0
 	w.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p", AdmissionControl: true}},
-		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: simAttempts, Target: 3000, StretchPermille: 1500}},
 	}}}, w.now)
 	for n := range 4 {
-		w.workers = append(w.workers, w.newInstance(n))
+		w.workers = append(w.workers, w.newWorker(n))
 	}
 	w.elect()
 	return w
 }
 
-func (w *world) newInstance(n int) *instance {
-	w.born++
-	return &instance{
-		id: jobs.WorkerID(fmt.Sprint("w", n)), life: w.born, machine: jobs.MachineID(fmt.Sprint("m", n)),
-		runs: map[jobs.TaskID]*simRun{}, closed: map[jobs.TaskID]int{}, room: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
-		bad: !w.calm && w.r.IntN(20) == 0, stuck: !w.calm && w.r.IntN(30) == 0,
+func (w *simulation) newWorker(n int) *simWorker {
+	w.nextIncarnation++
+	return &simWorker{
+		id: jobs.WorkerID(fmt.Sprint("w", n)), incarnation: w.nextIncarnation, machine: jobs.MachineID(fmt.Sprint("m", n)),
+		runs: map[jobs.TaskID]*simRun{}, closed: map[jobs.TaskID]int{}, capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
+		failing: !w.faultsOff && w.rand.IntN(20) == 0, stuck: !w.faultsOff && w.rand.IntN(30) == 0,
 	}
 }
 
-// elect makes a new leader. The one before may go on for a while without being
-// able to commit.
-func (w *world) elect() {
+// elect makes a new leader. The previous one may continue for a while without
+// being able to commit.
+func (w *simulation) elect() {
 	w.token++
-	w.stale = w.lead
-	w.lead = &leader{
-		board: New(w.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
-		token: w.token, confirmed: w.now,
+	w.stale = w.leader
+	w.leader = &simLeader{
+		scheduler: New(w.set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, w.committed.Clone(), w.now),
+		token:     w.token, confirmedAt: w.now,
 	}
 }
 
-func (w *world) failf(format string, args ...any) {
+func (w *simulation) failf(format string, args ...any) {
 	if w.err == nil {
 		w.err = fmt.Errorf("at %d ms: "+format, append([]any{w.now}, args...)...)
 	}
 }
 
-// step plays one time step.
-func (w *world) step() {
-	w.now += worldStep
+// step simulates one time step.
+func (w *simulation) step() {
+	w.now += stepMillis
 	w.deliver()
-	w.gather()
+	w.updateGangs()
 	for n, x := range w.workers {
-		w.play(n, x)
+		w.stepWorker(n, x)
 	}
-	if w.r.IntN(8) == 0 && w.jobs < 12 && !w.calm {
+	if w.rand.IntN(8) == 0 && w.submitted < 12 && !w.faultsOff {
 		w.submit()
 	}
-	if !w.calm {
-		w.trouble()
+	if !w.faultsOff {
+		w.injectFault()
 	}
-	w.pass(w.lead, true)
+	w.runPass(w.leader, true)
 	if w.stale != nil {
-		w.pass(w.stale, false)
-		if w.now-w.stale.confirmed > 2*clock.Second {
+		w.runPass(w.stale, false)
+		if w.now-w.stale.confirmedAt > 2*clock.Second {
 			w.stale = nil
 		}
 	}
-	w.check()
+	w.checkSingleRuns()
 }
 
-func (w *world) submit() {
-	w.jobs++
+func (w *simulation) submit() {
+	w.submitted++
 	j := jobs.Job{
-		ID: jobs.ID(fmt.Sprint("j", w.jobs)), Queue: "q", Pool: "p", MaxAttempts: worldAttempts, Target: 3000, StretchPermille: 1500,
+		ID: jobs.ID(fmt.Sprint("j", w.submitted)), Queue: "q", Pool: "p", MaxAttempts: simAttempts, Target: 3000, StretchPermille: 1500,
 		Steps: []jobs.Step{
-			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
-			{TaskCount: 1 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
+			{TaskCount: 1 + w.rand.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
+			{TaskCount: 1 + w.rand.IntN(3), Resources: jobs.Resources{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
 		},
 	}
-	if w.r.IntN(6) == 0 {
+	if w.rand.IntN(6) == 0 {
 		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}}
 	}
-	if w.r.IntN(5) == 0 {
+	if w.rand.IntN(5) == 0 {
 		j.Steps[0] = jobs.Step{
-			TaskCount: 2 + w.r.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
-			SameRack: w.r.IntN(2) == 0,
+			TaskCount: 2 + w.rand.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
+			SameRack: w.rand.IntN(2) == 0,
 		}
 	}
-	if w.r.IntN(6) == 0 {
-		j.OccurrenceCount, j.FirstDue, j.Interval = 2, w.now+clock.Millis(w.r.IntN(2000)), 500
+	if w.rand.IntN(6) == 0 {
+		j.OccurrenceCount, j.FirstDue, j.Interval = 2, w.now+clock.Millis(w.rand.IntN(2000)), 500
 	}
-	w.lead.board.Submit(j, w.now)
-	// A submitter sends again what it got no answer for.
-	if w.r.IntN(3) == 0 {
-		w.lead.board.Submit(j, w.now)
+	w.leader.scheduler.Submit(j, w.now)
+	// A submitter resends a request that was not answered.
+	if w.rand.IntN(3) == 0 {
+		w.leader.scheduler.Submit(j, w.now)
 	}
 }
 
-// trouble brings about one of the failures at random.
-func (w *world) trouble() {
-	switch w.r.IntN(400) {
+// injectFault injects a random fault, or none.
+func (w *simulation) injectFault() {
+	switch w.rand.IntN(400) {
 	case 0:
 		w.elect()
 	case 1, 2:
-		n := w.r.IntN(len(w.workers))
+		n := w.rand.IntN(len(w.workers))
 		w.workers[n].down = true
-		w.workers[n] = w.newInstance(n)
+		w.workers[n] = w.newWorker(n)
 	case 3:
-		w.lead.board.Cancel(jobs.ID(fmt.Sprint("j", 1+w.r.IntN(12))), w.now)
+		w.leader.scheduler.Cancel(jobs.ID(fmt.Sprint("j", 1+w.rand.IntN(12))), w.now)
 	case 4:
-		// A cut: the worker is not heard for seconds.
-		x := w.workers[w.r.IntN(len(w.workers))]
-		x.next = w.now + clock.Millis(w.r.IntN(9000))
+		// A network partition: the leader receives no heartbeat of the worker
+		// for seconds.
+		x := w.workers[w.rand.IntN(len(w.workers))]
+		x.nextHeartbeat = w.now + clock.Millis(w.rand.IntN(9000))
 	case 5:
-		w.workers[w.r.IntN(len(w.workers))].draining = true
+		w.workers[w.rand.IntN(len(w.workers))].draining = true
 	}
 }
 
-// pass lets a leader decide. Only the true leader commits; a stale one still
-// answers what needs no commit while its last confirmation is recent.
-func (w *world) pass(l *leader, leads bool) {
-	p := l.board.Pass(w.now)
+// runPass runs a pass of a leader. Only the true leader commits. A stale one
+// still sends replies that need no commit while its last confirmation is
+// recent.
+func (w *simulation) runPass(l *simLeader, leads bool) {
+	p := l.scheduler.Pass(w.now)
 	if leads {
-		l.confirmed = w.now
+		l.confirmedAt = w.now
 		w.commit(p.Ops)
-	} else if len(p.Ops) > 0 || w.now-l.confirmed > confirmAge {
+	} else if len(p.Ops) > 0 || w.now-l.confirmedAt > maxConfirmAgeMillis {
 		return
 	}
 	for _, o := range p.Orders {
 		for _, x := range w.workers {
-			if x.id != o.Worker || x.life != o.Incarnation || x.taker != l || x.sent == 0 {
+			if x.id != o.Worker || x.incarnation != o.Incarnation || x.heartbeatLeader != l || x.sentAt == 0 {
 				continue
 			}
-			hold := w.set.LeaseMillis - max(0, x.sent-l.confirmed)
-			delay := clock.Millis(w.r.IntN(60))
-			if !w.calm && w.r.IntN(40) == 0 {
-				delay = clock.Millis(w.r.IntN(3000))
+			hold := w.set.LeaseMillis - max(0, x.sentAt-l.confirmedAt)
+			delay := clock.Millis(w.rand.IntN(60))
+			if !w.faultsOff && w.rand.IntN(40) == 0 {
+				delay = clock.Millis(w.rand.IntN(3000))
 			}
-			w.answers = append(w.answers, answer{to: x, orders: o, hold: hold, token: l.token, sent: x.sent, at: w.now + delay})
+			w.replies = append(w.replies, simReply{to: x, orders: o, lease: hold, token: l.token, sentAt: x.sentAt, arrivesAt: w.now + delay})
 		}
 	}
 }
 
-func (w *world) commit(ops []jobs.Op) {
+func (w *simulation) commit(ops []jobs.Op) {
 	for _, o := range ops {
 		if o.Kind == jobs.OpEnd {
 			t := w.committed.Task(o.Task)
 			if t == nil || t.Phase != jobs.PhaseAssigned || t.Run != o.Run {
 				continue
 			}
-			w.noteEnd(o)
+			w.recordEnd(o)
 		}
 	}
 	w.committed.Apply(ops, w.now)
 }
 
-// noteEnd counts what an end means for the task, or for all tasks of its gang.
-func (w *world) noteEnd(o jobs.Op) {
+// recordEnd records what a run end means for the task, or for all tasks of its
+// gang.
+func (w *simulation) recordEnd(o jobs.Op) {
 	step := &w.committed.Jobs[o.Task.Job].Steps[o.Task.Step]
 	if step.LongRunning {
 		return
@@ -282,30 +290,30 @@
 	w.failed[failed] = w.failed[failed] || o.Result == jobs.ResultFailed
 }
 
-// deliver hands answers to workers; those that come after a second are
-// dropped.
-func (w *world) deliver() {
-	kept := w.answers[:0]
-	for _, a := range w.answers {
+// deliver delivers replies to workers. A reply that arrives after more than
+// answerTimeoutMillis is dropped.
+func (w *simulation) deliver() {
+	kept := w.replies[:0]
+	for _, a := range w.replies {
 		switch {
-		case a.at > w.now:
+		case a.arrivesAt > w.now:
 			kept = append(kept, a)
-		case a.sent == a.to.sent && w.now-a.sent <= dropAfter && !a.to.down:
-			w.obey(a)
+		case a.sentAt == a.to.sentAt && w.now-a.sentAt <= answerTimeoutMillis && !a.to.down:
+			w.applyReply(a)
 		}
 	}
-	w.answers = kept
+	w.replies = kept
 }
 
-func (w *world) obey(a answer) {
+func (w *simulation) applyReply(a simReply) {
 	x := a.to
-	x.sent, x.next = 0, w.now+a.orders.RetryAfter
+	x.sentAt, x.nextHeartbeat = 0, w.now+a.orders.RetryAfter
 	if a.token < x.token {
 		return
 	}
 	x.token = a.token
 	// The worker's clock runs 2% slow.
-	x.until = max(x.until, a.sent+a.hold+a.hold/50)
+	x.leaseUntil = max(x.leaseUntil, a.sentAt+a.lease+a.lease/50)
 	x.ends = slices.DeleteFunc(x.ends, func(e RunEnd) bool { return e.Number <= a.orders.AckUpTo })
 	for _, s := range a.orders.Stops {
 		x.closed[s.Task] = max(x.closed[s.Task], s.Run)
@@ -314,18 +322,18 @@
 		}
 	}
 	for _, s := range a.orders.Starts {
-		w.start(x, s)
+		w.startRun(x, s)
 	}
 }
 
-func (x *instance) end(t jobs.TaskID, r *simRun, how jobs.Result) {
-	x.number++
-	x.ends = append(x.ends, RunEnd{Number: x.number, Task: t, Run: r.run, Result: how, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+func (x *simWorker) end(t jobs.TaskID, r *simRun, how jobs.Result) {
+	x.lastEnd++
+	x.ends = append(x.ends, RunEnd{Number: x.lastEnd, Task: t, Run: r.run, Result: how, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
 	x.closed[t] = max(x.closed[t], r.run)
 	delete(x.runs, t)
 }
 
-func (w *world) start(x *instance, s Start) {
+func (w *simulation) startRun(x *simWorker, s Start) {
 	if r := x.runs[s.Task]; r != nil && r.run == s.Run {
 		return
 	}
@@ -334,19 +342,19 @@
 		used = used.Plus(w.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
 	need := w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
-	if s.Run <= x.closed[s.Task] || !need.Fits(x.room.Minus(used)) {
+	if s.Run <= x.closed[s.Task] || !need.Fits(x.capacity.Minus(used)) {
 		x.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
 		return
 	}
 	w.checkStart(x, s)
-	takes := clock.Millis(100 + w.r.IntN(900))
-	x.runs[s.Task] = &simRun{run: s.Run, began: w.now, takes: takes, fails: x.bad || w.r.IntN(25) == 0, saved: s.Checkpoint}
+	duration := clock.Millis(100 + w.rand.IntN(900))
+	x.runs[s.Task] = &simRun{run: s.Run, startedAt: w.now, duration: duration, fails: x.failing || w.rand.IntN(25) == 0, checkpoint: s.Checkpoint}
 	w.checkGang(x, s)
 }
 
-// checkGang checks that the tasks of a gang that run share their run number and
-// started from one checkpoint.
-func (w *world) checkGang(x *instance, s Start) {
+// checkGang checks that the running tasks of a gang share their run number and
+// started from the same checkpoint.
+func (w *simulation) checkGang(x *simWorker, s Start) {
 	if !w.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Gang {
 		return
 	}
@@ -355,19 +363,19 @@
 			if t.Job != s.Task.Job || t.Occurrence != s.Task.Occurrence || t.Step != s.Task.Step {
 				continue
 			}
-			if r.run == s.Run && r.saved != s.Checkpoint {
-				w.failf("task %v starts from %q and %v of its gang from %q", s.Task, s.Checkpoint, t, r.saved)
+			if r.run == s.Run && r.checkpoint != s.Checkpoint {
+				w.failf("task %v starts from checkpoint %q, but %v of its gang from %q", s.Task, s.Checkpoint, t, r.checkpoint)
 			}
 			if r.run > s.Run {
-				w.failf("task %v starts run %d on %s beside run %d of %v", s.Task, s.Run, x.id, r.run, t)
+				w.failf("task %v starts run %d on %s while run %d of %v is running", s.Task, s.Run, x.id, r.run, t)
 			}
 		}
 	}
 }
 
-// gather lets gangs work: from the moment when all tasks of a run are there. A
-// gang that has lost one, and one that waits too long for the others, ends.
-func (w *world) gather() {
+// updateGangs starts the work of gangs whose tasks are all running. A gang that
+// has lost a task, or has waited too long for the others, is stopped.
+func (w *simulation) updateGangs() {
 	present := map[failedRun]int{}
 	for _, x := range w.workers {
 		for t, r := range x.runs {
@@ -381,8 +389,8 @@
 			switch {
 			case !step.Gang:
 			case all && !r.formed:
-				r.formed, r.began = true, w.now
-			case !all && (r.formed || w.now-r.began > gangTimeout):
+				r.formed, r.startedAt = true, w.now
+			case !all && (r.formed || w.now-r.startedAt > gangTimeoutMillis):
 				x.end(t, r, jobs.ResultStopped)
 			}
 		}
@@ -394,24 +402,24 @@
 	return failedRun{t, r.run}
 }
 
-// checkStart checks what must hold when a task starts.
-func (w *world) checkStart(x *instance, s Start) {
+// checkStart checks the invariants of a task start.
+func (w *simulation) checkStart(x *simWorker, s Start) {
 	rec := w.committed.Jobs[s.Task.Job]
 	switch {
 	case w.done[s.Task]:
-		w.failf("task %v starts on %s after its good end was noted", s.Task, x.id)
-	case w.fails[s.Task] >= worldAttempts:
+		w.failf("task %v starts on %s after it was recorded as done", s.Task, x.id)
+	case w.fails[s.Task] >= simAttempts:
 		w.failf("task %v starts after %d failed runs", s.Task, w.fails[s.Task])
 	case !rec.Ready(s.Task.Occurrence, s.Task.Step):
-		w.failf("task %v starts before the steps that it waits for are done", s.Task)
+		w.failf("task %v starts before the steps that it depends on are done", s.Task)
 	case rec.Due(s.Task.Occurrence) > w.now:
-		w.failf("task %v starts before its time", s.Task)
+		w.failf("task %v starts before its occurrence is due", s.Task)
 	}
 }
 
-// play lets a worker work and send its next heartbeat.
-func (w *world) play(_ int, x *instance) {
-	if w.now >= x.until {
+// stepWorker simulates the work of a worker and sends its next heartbeat.
+func (w *simulation) stepWorker(_ int, x *simWorker) {
+	if w.now >= x.leaseUntil {
 		for t, r := range x.runs {
 			x.end(t, r, jobs.ResultExpired)
 		}
@@ -419,7 +427,7 @@
 	ended := false
 	for t, r := range x.runs {
 		step := &w.committed.Jobs[t.Job].Steps[t.Step]
-		if step.LongRunning || (step.Gang && !r.formed) || x.stuck || w.now-r.began < r.takes {
+		if step.LongRunning || (step.Gang && !r.formed) || x.stuck || w.now-r.startedAt < r.duration {
 			continue
 		}
 		how := jobs.ResultDone
@@ -433,19 +441,19 @@
 		}
 		ended = true
 	}
-	if x.sent != 0 && w.now-x.sent > dropAfter {
-		x.sent = 0
+	if x.sentAt != 0 && w.now-x.sentAt > answerTimeoutMillis {
+		x.sentAt = 0
 	}
-	if ended && x.sent == 0 {
-		x.next = min(x.next, w.now+60)
+	if ended && x.sentAt == 0 {
+		x.nextHeartbeat = min(x.nextHeartbeat, w.now+60)
 	}
-	if x.sent == 0 && w.now >= x.next {
-		w.beat(x)
+	if x.sentAt == 0 && w.now >= x.nextHeartbeat {
+		w.sendHeartbeat(x)
 	}
 }
 
-// endGang ends all tasks of a gang well.
-func (w *world) endGang(of jobs.TaskID, r *simRun) {
+// endGang completes all tasks of a gang.
+func (w *simulation) endGang(of jobs.TaskID, r *simRun) {
 	key := gangRun(of, r)
 	for _, x := range w.workers {
 		for t, y := range x.runs {
@@ -456,15 +464,15 @@
 	}
 }
 
-func (w *world) beat(x *instance) {
+func (w *simulation) sendHeartbeat(x *simWorker) {
 	x.seq++
-	x.sent = w.now
+	x.sentAt = w.now
 	h := Heartbeat{
-		Worker: x.id, Incarnation: x.life, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.room,
+		Worker: x.id, Incarnation: x.incarnation, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.capacity,
 		Draining: x.draining, Ends: slices.Clone(x.ends), ReceivedAt: w.now,
 	}
 	for t, r := range x.runs {
-		percent := int(100 * (w.now - r.began) / r.takes)
+		percent := int(100 * (w.now - r.startedAt) / r.duration)
 		if x.stuck {
 			percent = 0
 		}
@@ -473,23 +481,23 @@
 			h.Running[len(h.Running)-1].Percent = 100
 		}
 	}
-	l := w.lead
-	if w.stale != nil && w.r.IntN(2) == 0 {
+	l := w.leader
+	if w.stale != nil && w.rand.IntN(2) == 0 {
 		l = w.stale
 	}
-	x.taker = nil
-	if l.board.Heartbeat(h, w.now) {
-		x.taker = l
+	x.heartbeatLeader = nil
+	if l.scheduler.Heartbeat(h, w.now) {
+		x.heartbeatLeader = l
 	}
-	if !w.calm && w.r.IntN(50) == 0 {
-		// A heartbeat may come twice or late.
-		l.board.Heartbeat(h, w.now)
+	if !w.faultsOff && w.rand.IntN(50) == 0 {
+		// A heartbeat may arrive twice or late.
+		l.scheduler.Heartbeat(h, w.now)
 	}
 }
 
-// check looks for tasks that run twice at a time on workers that are up.
-func (w *world) check() {
-	seen := map[jobs.TaskID]*instance{}
+// checkSingleRuns checks that no task runs on two workers at the same time.
+func (w *simulation) checkSingleRuns() {
+	seen := map[jobs.TaskID]*simWorker{}
 	for _, x := range w.workers {
 		for t := range x.runs {
 			if y := seen[t]; y != nil {
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -14,45 +14,45 @@
 	"camphorridge/core/state/place"
 )
 
-// The load that orders are compared by: a pool of which twice what it holds is
-// asked for some seconds, and little before and after.
+// The simulated load for comparing rank policies: for some seconds it is twice
+// what the pool can process, and low before and after.
 const (
-	loadWorkers               = 9
-	loadCores                 = 16_000
-	loadStep     clock.Millis = 10
-	loadLength                = 20 * clock.Second
-	surgeBegin                = 5 * clock.Second
-	surgeEnd                  = 11 * clock.Second
-	calmPerS                  = 4
-	surgePerS                 = 95
-	loadPatience              = 60 * clock.Second
+	loadWorkers                          = 9
+	loadMilliCoresPerWorker              = 16_000
+	loadStepMillis          clock.Millis = 10
+	loadMillis                           = 20 * clock.Second
+	surgeStartMillis                     = 5 * clock.Second
+	surgeEndMillis                       = 11 * clock.Second
+	calmJobsPerSecond                    = 4
+	surgeJobsPerSecond                   = 95
+	loadDrainMillis                      = 60 * clock.Second
 )
 
-// arrival is a job of a load, with the true duration of its tasks.
-type arrival struct {
-	job   jobs.Job
-	at    clock.Millis
-	takes clock.Millis
+// simJob is a job of the load, with the actual duration of its tasks.
+type simJob struct {
+	job       jobs.Job
+	arrivesAt clock.Millis
+	duration  clock.Millis
 }
 
-// newLoad draws the jobs of a load.
-func newLoad(seed uint64) []arrival {
+// newLoad returns the random jobs of a load.
+func newLoad(seed uint64) []simJob {
 	r := rand.New(rand.NewPCG(seed, 2))
-	var all []arrival
-	for at := clock.Millis(0); at < loadLength; at += loadStep {
-		rate := calmPerS
-		if at >= surgeBegin && at < surgeEnd {
-			rate = surgePerS
+	var all []simJob
+	for at := clock.Millis(0); at < loadMillis; at += loadStepMillis {
+		rate := calmJobsPerSecond
+		if at >= surgeStartMillis && at < surgeEndMillis {
+			rate = surgeJobsPerSecond
 		}
-		if r.IntN(int(clock.Second/loadStep)) >= rate {
+		if r.IntN(int(clock.Second/loadStepMillis)) >= rate {
 			continue
 		}
-		takes := 300 + clock.Millis(r.IntN(700))
+		duration := 300 + clock.Millis(r.IntN(700))
 		step := jobs.Step{
 			TaskCount: 1 + r.IntN(11), Resources: jobs.Resources{MilliCores: 500 + r.IntN(800), MemoryMiB: 100},
-			Estimate: takes * clock.Millis(80+r.IntN(40)) / 100,
+			Estimate: duration * clock.Millis(80+r.IntN(40)) / 100,
 		}
-		all = append(all, arrival{at: at, takes: takes, job: jobs.Job{
+		all = append(all, simJob{arrivesAt: at, duration: duration, job: jobs.Job{
 			ID: jobs.ID(fmt.Sprint("j", len(all))), Queue: "q", Pool: "p", MaxAttempts: 3, Target: 3600, StretchPermille: 1600,
 			Steps: []jobs.Step{step},
 		}})
@@ -60,28 +60,30 @@
 	return all
 }
 
-// objective is the latest end at which the job is on time.
-func (a arrival) objective() clock.Millis {
-	return a.at + a.job.Target + a.job.Steps[0].Estimate*clock.Millis(a.job.StretchPermille)/1000
+// deadline returns the latest end at which the job is on time.
+func (a simJob) deadline() clock.Millis {
+	return a.arrivesAt + a.job.Target + a.job.Steps[0].Estimate*clock.Millis(a.job.StretchPermille)/1000
 }
 
-// work is the processor time of all tasks.
-func (a arrival) work() clock.Millis {
+// work returns the processor time of all tasks of the job, in
+// core-milliseconds.
+func (a simJob) work() clock.Millis {
 	s := a.job.Steps[0]
-	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * a.takes / 1000
+	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * a.duration / 1000
 }
 
-// upperBound is a number of jobs that no schedule can bring to their end in
-// time: for each span of time, the jobs that come and are due within it have no
-// more processors than there are, so that at most the smallest of them fit.
-func upperBound(all []arrival) int {
-	const cores = loadWorkers * loadCores / 1000
+// upperBound returns a number of jobs on time that no schedule can exceed. In
+// each time window, the jobs that arrive and are due within it share the
+// processor time of the window, so at most as many as the smallest ones that
+// fit can complete.
+func upperBound(all []simJob) int {
+	const cores = loadWorkers * loadMilliCoresPerWorker / 1000
 	best := len(all)
-	for from := clock.Millis(0); from < loadLength; from += 100 * loadStep {
-		for to := from + clock.Second; to < loadLength+10*clock.Second; to += 100 * loadStep {
+	for from := clock.Millis(0); from < loadMillis; from += 100 * loadStepMillis {
+		for to := from + clock.Second; to < loadMillis+10*clock.Second; to += 100 * loadStepMillis {
 			var inside []clock.Millis
 			for _, a := range all {
-				if a.at >= from && a.objective() <= to {
+				if a.arrivesAt >= from && a.deadline() <= to {
 					inside = append(inside, a.work())
 				}
 			}
@@ -99,86 +101,87 @@
 	return best
 }
 
-// loadWorker is a sound worker.
+// loadWorker is a simulated worker without faults.
 type loadWorker struct {
-	id   jobs.WorkerID
-	seq  int64
-	next clock.Millis
-	// waits is set while a heartbeat has no answer.
-	waits  bool
-	runs   map[jobs.TaskID]loadRun
-	ends   []RunEnd
-	number int64
+	id            jobs.WorkerID
+	seq           int64
+	nextHeartbeat clock.Millis
+	// awaitsReply is set while a heartbeat has no reply.
+	awaitsReply bool
+	runs        map[jobs.TaskID]loadRun
+	ends        []RunEnd
+	lastEnd     int64
 }
 
 type loadRun struct {
-	run        int
-	began, due clock.Millis
+	run               int
+	startedAt, endsAt clock.Millis
 }
 
-// onTime plays a load with an order and counts the jobs that end in time.
-func onTime[O RankPolicy](order O, all []arrival) int {
+// onTime simulates a load with a rank policy and returns the number of jobs
+// that end on time.
+func onTime[P RankPolicy](policy P, all []simJob) int {
 	set := Defaults()
 	set.BacklogTargetMillis = 0
 	const start = 100_000
-	base := newRig(set)
-	b := New(set, order, place.PeerComparison{MinScore: 3}, base.State, start)
-	takes := map[jobs.ID]arrival{}
+	base := newFixture(set)
+	s := New(set, policy, place.PeerComparison{MinScore: 3}, base.State, start)
+	jobByID := map[jobs.ID]simJob{}
 	var workers []*loadWorker
 	for n := range loadWorkers {
 		workers = append(workers, &loadWorker{id: jobs.WorkerID(fmt.Sprint("w", n)), runs: map[jobs.TaskID]loadRun{}})
 	}
 	left := all
-	for now := clock.Millis(0); now < loadLength+loadPatience; now += loadStep {
-		for len(left) > 0 && left[0].at <= now {
-			takes[left[0].job.ID] = left[0]
-			b.Submit(left[0].job, start+now)
+	for now := clock.Millis(0); now < loadMillis+loadDrainMillis; now += loadStepMillis {
+		for len(left) > 0 && left[0].arrivesAt <= now {
+			jobByID[left[0].job.ID] = left[0]
+			s.Submit(left[0].job, start+now)
 			left = left[1:]
 		}
 		for _, w := range workers {
-			w.work(now)
-			if !w.waits && now >= w.next {
-				b.Heartbeat(w.beat(start+now), start+now)
+			w.endFinishedRuns(now)
+			if !w.awaitsReply && now >= w.nextHeartbeat {
+				s.Heartbeat(w.heartbeat(start+now), start+now)
 			}
 		}
-		for _, o := range b.Pass(start + now).Orders {
+		for _, o := range s.Pass(start + now).Orders {
 			i := slices.IndexFunc(workers, func(w *loadWorker) bool { return w.id == o.Worker })
-			workers[i].obey(o, now, takes)
+			workers[i].applyOrders(o, now, jobByID)
 		}
 	}
 	n := 0
 	for _, a := range all {
-		r := b.State.Jobs[a.job.ID]
-		if r != nil && r.Status == jobs.StatusCompleted && r.EndedAt <= start+a.objective() {
+		r := s.State.Jobs[a.job.ID]
+		if r != nil && r.Status == jobs.StatusCompleted && r.EndedAt <= start+a.deadline() {
 			n++
 		}
 	}
 	return n
 }
 
-// work ends the tasks whose time has come.
-func (w *loadWorker) work(now clock.Millis) {
+// endFinishedRuns ends the runs whose duration has passed.
+func (w *loadWorker) endFinishedRuns(now clock.Millis) {
 	ids := make([]jobs.TaskID, 0, len(w.runs))
 	for id, r := range w.runs {
-		if r.due <= now {
+		if r.endsAt <= now {
 			ids = append(ids, id)
 		}
 	}
 	slices.SortFunc(ids, func(a, b jobs.TaskID) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
 	for _, id := range ids {
-		w.number++
-		w.ends = append(w.ends, RunEnd{Number: w.number, Task: id, Run: w.runs[id].run, Result: jobs.ResultDone})
+		w.lastEnd++
+		w.ends = append(w.ends, RunEnd{Number: w.lastEnd, Task: id, Run: w.runs[id].run, Result: jobs.ResultDone})
 		delete(w.runs, id)
-		w.next = min(w.next, now+50)
+		w.nextHeartbeat = min(w.nextHeartbeat, now+50)
 	}
 }
 
-func (w *loadWorker) beat(now clock.Millis) Heartbeat {
+func (w *loadWorker) heartbeat(now clock.Millis) Heartbeat {
 	w.seq++
-	w.waits = true
+	w.awaitsReply = true
 	h := Heartbeat{
 		Worker: w.id, Incarnation: 1, Machine: jobs.MachineID(w.id), Pool: "p", Seq: w.seq, Ends: slices.Clone(w.ends),
-		Capacity: jobs.Resources{MilliCores: loadCores, MemoryMiB: 1 << 20}, ReceivedAt: now,
+		Capacity: jobs.Resources{MilliCores: loadMilliCoresPerWorker, MemoryMiB: 1 << 20}, ReceivedAt: now,
 	}
 	for id, r := range w.runs {
 		h.Running = append(h.Running, RunStatus{Task: id, Run: r.run, Percent: 50})
@@ -186,18 +189,18 @@
 	return h
 }
 
-func (w *loadWorker) obey(o Orders, now clock.Millis, takes map[jobs.ID]arrival) {
-	w.waits, w.next = false, now+o.RetryAfter
+func (w *loadWorker) applyOrders(o Orders, now clock.Millis, jobByID map[jobs.ID]simJob) {
+	w.awaitsReply, w.nextHeartbeat = false, now+o.RetryAfter
 	w.ends = slices.DeleteFunc(w.ends, func(e RunEnd) bool { return e.Number <= o.AckUpTo })
 	for _, s := range o.Starts {
-		w.runs[s.Task] = loadRun{run: s.Run, began: now, due: now + takes[s.Task.Job].takes}
+		w.runs[s.Task] = loadRun{run: s.Run, startedAt: now, endsAt: now + jobByID[s.Task.Job].duration}
 	}
 }
 
-// TestOrderServesSurge plays a surge with the order of the product and with the
-// baseline. It guards against an order that starts every job of a surge just too
-// late, and against a bound that is none.
-func TestOrderServesSurge(t *testing.T) {
+// TestRankPoliciesInSurge simulates a load peak with the default policy and
+// with the baseline. It guards against a policy that starts every job of the
+// peak just too late, and against an upper bound that is exceeded.
+func TestRankPoliciesInSurge(t *testing.T) {
 	for seed := range uint64(3) {
 		all := newLoad(seed)
 		bound, best, baseline := upperBound(all), onTime(EarliestDeadline{}, all), onTime(FIFO{}, all)
@@ -207,9 +210,9 @@
 	}
 }
 
-// BenchmarkOrders compares the orders by the share of the bound that they serve
-// in time.
-func BenchmarkOrders(b *testing.B) {
+// BenchmarkRankPolicies reports the jobs on time for each rank policy, as a
+// share of the upper bound.
+func BenchmarkRankPolicies(b *testing.B) {
 	all := newLoad(1)
 	bound := float64(upperBound(all))
 	b.Run("by-objective", func(b *testing.B) {
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -4,92 +4,99 @@
 	"camphorridge/core/state/clock"
 )
 
-// Figures of the pace of filling tasks. The tail that a worker reports covers
-// the last half second.
+// Parameters of the throttling of best-effort tasks.
 const (
-	paceMillis clock.Millis = 500
-	// Fillers are slowed while a tail is above slowPermille of its target and go
-	// faster while all are below fastPermille.
-	slowPermille = 950
-	fastPermille = 750
-	// A step down divides the pace, a step up adds to it, in percent of full
-	// speed; less than the least pace is none. Three steps down stop a filler.
-	paceDivisor = 3
-	paceStep    = 10
-	leastPace   = 10
-	fullPace    = 100
-	// paceRepeats is the number of answers that carry a return to full speed, as
-	// answers may be lost. A lower pace is part of each answer.
-	paceRepeats = 3
+	// speedPeriodMillis is the minimum time between two changes of the speed.
+	// The tail latency in a heartbeat covers the last half second.
+	speedPeriodMillis clock.Millis = 500
+	// Best-effort tasks are slowed down while the tail latency of a serving
+	// task exceeds slowTailPermille of its target, and sped up while all are
+	// below fastTailPermille.
+	slowTailPermille = 950
+	fastTailPermille = 750
+	// Slowing down divides the speed by speedDivisor, speeding up adds
+	// speedStepPercent. A speed below minSpeedPercent becomes 0; three
+	// slowdowns from full speed stop a task.
+	speedDivisor     = 3
+	speedStepPercent = 10
+	minSpeedPercent  = 10
+	fullSpeedPercent = 100
+	// fullSpeedRepeats is the number of replies that carry a return to full
+	// speed, because replies may be lost. A lower speed is part of every reply.
+	fullSpeedRepeats = 3
 )
 
-// pace is the speed of the filling tasks on a worker.
-type pace struct {
+// speed is the speed of the best-effort tasks on a worker, as a percentage of
+// full speed.
+type speed struct {
 	percent int
-	// changed is the time of the latest change.
-	changed clock.Millis
-	// repeats is the number of answers that still carry full speed.
-	repeats int
+	// changedAt is the time of the latest change.
+	changedAt clock.Millis
+	// repeatsLeft is the number of replies that still have to carry full speed.
+	repeatsLeft int
 }
 
-// unknownPace is the pace on a worker that an earlier leader gave orders to: it
-// says full speed until the tails say otherwise.
-func unknownPace() pace { return pace{percent: fullPace, repeats: paceRepeats} }
+// unknownSpeed returns the speed for a worker that received orders from an
+// earlier leader, which may have throttled it: full speed, repeated in the next
+// replies.
+func unknownSpeed() speed { return speed{percent: fullSpeedPercent, repeatsLeft: fullSpeedRepeats} }
 
-// setPace slows the filling tasks on a worker down while a serving task there
-// answers too slowly, and lets them speed up step by step once it does not. It
-// answers loads of serving tasks that change within seconds.
-func (b *Scheduler[O, J]) setPace(w *worker, now clock.Millis) {
-	worst, fillers := w.tails()
-	if fillers == 0 {
-		w.pace = pace{percent: fullPace}
+// adjustSpeed slows down the best-effort tasks on a worker while a serving task
+// there exceeds its latency target, and speeds them up step by step once it
+// does not. This follows loads of serving tasks that change within seconds.
+func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
+	worst, bestEffort := w.tailLatency()
+	if bestEffort == 0 {
+		w.speed = speed{percent: fullSpeedPercent}
 		return
 	}
-	percent := nextPace(w.pace.percent, worst)
-	if percent != w.pace.percent && now-w.pace.changed >= paceMillis {
-		w.pace = pace{percent: percent, changed: now, repeats: paceRepeats}
-		b.answerBy(w, now)
+	percent := nextSpeed(w.speed.percent, worst)
+	if percent != w.speed.percent && now-w.speed.changedAt >= speedPeriodMillis {
+		w.speed = speed{percent: percent, changedAt: now, repeatsLeft: fullSpeedRepeats}
+		s.replyBy(w, now)
 	}
-	if w.pace.percent == fullPace {
-		if w.pace.repeats == 0 {
+	if w.speed.percent == fullSpeedPercent {
+		if w.speed.repeatsLeft == 0 {
 			return
 		}
-		w.pace.repeats--
+		w.speed.repeatsLeft--
 	}
-	for _, id := range sortedTasks(w.runs) {
-		if r := w.runs[id]; r.fills() {
-			w.beat.rates = append(w.beat.rates, Throttle{Task: id, Run: r.number, Percent: w.pace.percent})
+	for _, id := range sortedTaskIDs(w.runs) {
+		if r := w.runs[id]; r.throttleable() {
+			w.heartbeat.throttles = append(w.heartbeat.throttles, Throttle{Task: id, Run: r.number, Percent: w.speed.percent})
 		}
 	}
 }
 
-// nextPace is the pace that follows one, by the worst tail in thousandths of its
-// target.
-func nextPace(percent, worst int) int {
+// nextSpeed returns the speed that follows percent, given the worst tail
+// latency in permille of its target.
+func nextSpeed(percent, worst int) int {
 	switch {
-	case worst > slowPermille && percent/paceDivisor < leastPace:
+	case worst > slowTailPermille && percent/speedDivisor < minSpeedPercent:
 		return 0
-	case worst > slowPermille:
-		return percent / paceDivisor
-	case worst < fastPermille:
-		return min(percent+paceStep, fullPace)
+	case worst > slowTailPermille:
+		return percent / speedDivisor
+	case worst < fastTailPermille:
+		return min(percent+speedStepPercent, fullSpeedPercent)
 	}
 	return percent
 }
 
-// fills reports whether the run is a filling task that takes orders.
-func (r *run) fills() bool { return r.step.BestEffort && r.listed && !r.stopping }
+// throttleable reports whether the run is a best-effort task that the worker
+// runs and that is not being stopped.
+func (r *run) throttleable() bool { return r.step.BestEffort && r.listed && !r.stopping }
 
-// tails returns the worst tail of the serving tasks on the worker, in
-// thousandths of its target, and the number of filling tasks beside them.
-func (w *worker) tails() (worst, fillers int) {
+// tailLatency returns the worst tail latency of the serving tasks on the
+// worker, in permille of the target, and the number of best-effort tasks that
+// can be throttled.
+func (w *worker) tailLatency() (worst, bestEffort int) {
 	for _, r := range w.runs {
-		if r.fills() {
-			fillers++
+		if r.throttleable() {
+			bestEffort++
 		}
-		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.atWork() {
+		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.serving() {
 			worst = max(worst, r.load*1000/int(r.step.LatencyTarget))
 		}
 	}
-	return worst, fillers
+	return worst, bestEffort
 }
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -9,21 +9,22 @@
 	"camphorridge/core/state/jobs"
 )
 
-// harmMillis is how long a tail may be above its target because of the tasks
-// that fill beside it.
-const harmMillis = 4 * clock.Second
+// maxHarmMillis is how long best-effort tasks may keep a tail latency above its
+// target.
+const maxHarmMillis = 4 * clock.Second
 
-// target is the target of the serving task's tail in the tests.
-const target clock.Millis = 100
+// latencyTarget is the target of the serving task's tail latency in the tests.
+const latencyTarget clock.Millis = 100
 
-// newPaceRig is a worker with a serving and a filling task at work.
-func newPaceRig(t *testing.T) (*rig, []RunStatus) {
+// newThrottleFixture returns a fixture with a worker that runs a serving and a
+// best-effort task.
+func newThrottleFixture(t *testing.T) (*fixture, []RunStatus) {
 	t.Helper()
-	r := newRig(Defaults())
-	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: target})
+	r := newFixture(Defaults())
+	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: latencyTarget})
 	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
-	r.hear("w1", 1, nil)
-	running := runningOf(orders(r.Pass(r.now), "w1"))
+	r.heartbeat("w1", 1, nil)
+	running := runsFor(ordersFor(r.Pass(r.now), "w1"))
 	assert.Equal(t, len(running), 2)
 	for i := range running {
 		running[i].Percent = 100
@@ -32,26 +33,26 @@
 	return r, running
 }
 
-// TestFillersArePaced plays serving load that rises and falls beside a filler,
-// with every third answer lost. It guards against a tail that stays above its
-// target for as long as users would notice, and against a filler that is slowed
-// for longer than the load lasts.
-func TestFillersArePaced(t *testing.T) {
-	r, running := newPaceRig(t)
-	began := r.now
-	pace, work, over := 100, clock.Millis(0), clock.Millis(0)
+// TestBestEffortIsThrottled simulates a serving load that rises and falls next
+// to a best-effort task, with every third reply lost. It guards against a tail
+// latency that exceeds its target long enough for users to notice, and against
+// a best-effort task that is slow for longer than the load lasts.
+func TestBestEffortIsThrottled(t *testing.T) {
+	r, running := newThrottleFixture(t)
+	startedAt := r.now
+	speed, workMillis, overMillis := 100, clock.Millis(0), clock.Millis(0)
 	const high, end = 10 * clock.Second, 40 * clock.Second
 	answers := 0
-	for r.now < began+end {
+	for r.now < startedAt+end {
 		base, share := 30, 30
-		if at := r.now - began; at >= high && at < 2*high {
+		if at := r.now - startedAt; at >= high && at < 2*high {
 			base, share = 70, 150
 		}
-		tail := base + share*pace/100
+		tail := base + share*speed/100
 		for i := range running {
 			running[i].Load = tail
 		}
-		r.hear("w1", 1, running)
+		r.heartbeat("w1", 1, running)
 		p := r.Pass(r.now)
 		before := r.now
 		for len(p.Orders) == 0 {
@@ -62,67 +63,69 @@
 		if answers%3 != 0 {
 			for _, x := range p.Orders[0].Throttles {
 				assert.Equal(t, x.Task.Job, jobs.ID("fill"))
-				pace = x.Percent
+				speed = x.Percent
 			}
 		}
 		r.now += p.Orders[0].RetryAfter
-		work += (r.now - before) * clock.Millis(pace) / 100
-		if over += r.now - before; clock.Millis(tail) <= target {
-			over = 0
+		workMillis += (r.now - before) * clock.Millis(speed) / 100
+		if overMillis += r.now - before; clock.Millis(tail) <= latencyTarget {
+			overMillis = 0
 		}
-		assert.Assert(t, over < harmMillis, "the tail is above its target for %d ms", over)
+		assert.Assert(t, overMillis < maxHarmMillis, "the tail latency exceeds its target for %d ms", overMillis)
 	}
-	// While the load is low the filler may work at full speed, and while it is
-	// high at a fifth of it; going up again takes five seconds.
-	assert.Assert(t, work > 26*clock.Second, "the filler worked for %d ms", work)
+	// The best-effort task can run at full speed while the load is low and at a
+	// fifth of it while the load is high; returning to full speed takes five
+	// seconds.
+	assert.Assert(t, workMillis > 26*clock.Second, "the best-effort task worked for %d ms at full speed", workMillis)
 }
 
-// TestServingAloneIsNotPaced guards against orders that change nothing: a tail
-// above its target without a filler beside it.
-func TestServingAloneIsNotPaced(t *testing.T) {
-	r, running := newPaceRig(t)
+// TestServingAloneIsNotThrottled guards against useless orders when a tail
+// latency exceeds its target without a best-effort task next to it.
+func TestServingAloneIsNotThrottled(t *testing.T) {
+	r, running := newThrottleFixture(t)
 	for i := range running {
-		running[i].Load = int(2 * target)
+		running[i].Load = int(2 * latencyTarget)
 		if running[i].Task.Job == "fill" {
 			r.Cancel("fill", r.now)
 		}
 	}
-	r.now += paceMillis
-	r.hear("w1", 1, running)
-	assert.Equal(t, len(orders(r.Pass(r.now), "w1").Throttles), 0)
+	r.now += speedPeriodMillis
+	r.heartbeat("w1", 1, running)
+	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Throttles), 0)
 }
 
-// TestNewLeaderSetsPace guards against a filler that stays slow for good because
-// the leader that slowed it is gone.
-func TestNewLeaderSetsPace(t *testing.T) {
-	r, running := newPaceRig(t)
+// TestNewLeaderRestoresSpeed guards against a best-effort task that stays slow
+// forever because the leader that throttled it is gone.
+func TestNewLeaderRestoresSpeed(t *testing.T) {
+	r, running := newThrottleFixture(t)
 	for i := range running {
-		running[i].Load = int(2 * target)
+		running[i].Load = int(2 * latencyTarget)
 	}
-	r.now += paceMillis
-	r.hear("w1", 1, running)
-	assert.Assert(t, orders(r.Pass(r.now), "w1").Throttles[0].Percent < 100)
-	next := &rig{testBoard: New(r.set, r.order, r.judge, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	r.now += speedPeriodMillis
+	r.heartbeat("w1", 1, running)
+	assert.Assert(t, ordersFor(r.Pass(r.now), "w1").Throttles[0].Percent < 100)
+	next := &fixture{testScheduler: New(r.settings, r.rankPolicy, r.healthPolicy, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
 	for i := range running {
-		running[i].Load = int(target) / 4
+		running[i].Load = int(latencyTarget) / 4
 	}
-	next.hear("w1", 1, running)
-	next.now += next.set.MaxHoldMillis
-	assert.DeepEqual(t, orders(next.Pass(next.now), "w1").Throttles, []Throttle{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
+	next.heartbeat("w1", 1, running)
+	next.now += next.settings.MaxHoldMillis
+	assert.DeepEqual(t, ordersFor(next.Pass(next.now), "w1").Throttles, []Throttle{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
 }
 
-// TestSlowFillerIsNotStopped guards against a filler that is started anew again
-// and again because it makes no progress while others need the processors.
-func TestSlowFillerIsNotStopped(t *testing.T) {
-	r := newRig(Defaults())
-	fill := small
+// TestSlowBestEffortTaskIsNotStopped guards against restarting a best-effort
+// task over and over because it makes no progress while other tasks need the
+// processors.
+func TestSlowBestEffortTaskIsNotStopped(t *testing.T) {
+	r := newFixture(Defaults())
+	fill := smallStep
 	fill.BestEffort = true
 	r.submit("fill", fill)
-	r.hear("w1", 1, nil)
-	running := runningOf(orders(r.Pass(r.now), "w1"))
+	r.heartbeat("w1", 1, nil)
+	running := runsFor(ordersFor(r.Pass(r.now), "w1"))
 	for range 10 {
 		r.now += clock.Second
-		r.hear("w1", 1, running)
-		assert.Equal(t, len(orders(r.Pass(r.now), "w1").Stops), 0)
+		r.heartbeat("w1", 1, running)
+		assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Stops), 0)
 	}
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -5,45 +5,48 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Settings are the figures of the board.
+// Settings configures the scheduler.
 type Settings struct {
-	// LeaseMillis is the longest time that a worker runs tasks after it has
+	// LeaseMillis is the longest time that a worker may run tasks after it has
 	// sent a heartbeat.
 	LeaseMillis clock.Millis
-	// DriftPermille bounds by how much a worker's clock may run slow.
+	// DriftPermille is the maximum by which a worker's clock may run slow, in
+	// permille.
 	DriftPermille clock.Millis
-	// MaxHoldMillis bounds how long the answer to a heartbeat is held back. A
-	// worker drops an answer that comes after a second.
+	// MaxHoldMillis limits the delay of the reply to a heartbeat. A worker
+	// drops a reply that arrives more than a second after its heartbeat.
 	MaxHoldMillis clock.Millis
-	// MinRetryMillis is the shortest pause that a worker is told to make before
-	// its next heartbeat, and SlowRetryMillis the longest.
+	// MinRetryMillis and MaxRetryMillis limit the pause that a worker makes
+	// before its next heartbeat.
 	MinRetryMillis clock.Millis
 	MaxRetryMillis clock.Millis
-	// TakeoverDelayMillis is how long a new leader orders no maintenance, so that two
-	// leaders do not give orders for a machine in turns.
+	// TakeoverDelayMillis is how long a new leader orders no maintenance and no
+	// moves, so that two leaders do not alternate in giving orders for a
+	// machine.
 	TakeoverDelayMillis clock.Millis
 	// MaintenanceMillis is how long the maintenance of a machine takes.
 	MaintenanceMillis clock.Millis
-	// BacklogTargetMillis is the time within which the waiting work of a pool is to be
-	// started; machines are moved to a pool that needs longer. 0 turns moves
-	// off.
+	// BacklogTargetMillis is the time within which the waiting work of a pool
+	// should start. Machines are moved to a pool that would need longer. 0
+	// disables moves.
 	BacklogTargetMillis clock.Millis
-	// MoveMillis is how long a move of a machine takes.
+	// MoveMillis is how long the move of a machine takes.
 	MoveMillis clock.Millis
-	// IdleMillis is how long a machine runs nothing before it goes to the
+	// IdleMillis is how long a machine must be idle before it is moved to the
 	// standby pool.
 	IdleMillis clock.Millis
-	// ReserveMachines is the number of machines beyond its need that a pool keeps.
+	// ReserveMachines is the number of machines beyond its need that a pool
+	// keeps.
 	ReserveMachines int
-	// QuarantineMillis is how long a worker that fails its tasks gets no others
+	// QuarantineMillis is how long a worker whose tasks fail gets no new ones
 	// before it is tried again.
 	QuarantineMillis clock.Millis
-	// StallMillis is how long a task may make no progress before it is started
-	// elsewhere.
+	// StallMillis is how long a task may make no progress, in addition to a
+	// quarter of its estimate, before it is started elsewhere.
 	StallMillis clock.Millis
 }
 
-// Defaults are the settings that tests and the product start from.
+// Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
@@ -53,23 +56,23 @@
 	}
 }
 
-// RunStatus is a run that a worker lists.
+// RunStatus is a run as listed in a worker's heartbeat.
 type RunStatus struct {
 	Task jobs.TaskID
 	Run  int
 	// Checkpoint is the latest checkpoint; empty for none.
 	Checkpoint string
-	// Percent is the progress of a task that ends, and 100 for a lasting task
-	// that is at work.
+	// Percent is the progress of a task that ends, and 100 for a long-running
+	// task that is serving.
 	Percent int
-	// Load is the tail in milliseconds of a serving task, and the use of
-	// processors, in thousandths, of any other.
+	// Load is the tail latency of a serving task in milliseconds, and the
+	// processor use of any other task in permille.
 	Load int
 }
 
 // RunEnd is the end of a run.
 type RunEnd struct {
-	// Number counts the ends of one life of a worker from 1.
+	// Number counts the run ends of one incarnation of a worker from 1.
 	Number     int64
 	Task       jobs.TaskID
 	Run        int
@@ -85,94 +88,94 @@
 	Pool        jobs.PoolName
 	Zone        string
 	Labels      []string
-	// Seq grows with each heartbeat of a life.
+	// Seq increases with each heartbeat of an incarnation.
 	Seq int64
-	// Capacity is all that the worker has for tasks.
+	// Capacity is all that the worker has for tasks, free or not.
 	Capacity jobs.Resources
-	// Draining workers get no new task. Remaining is the least time that is
-	// left to them.
+	// Draining workers get no new tasks. Remaining is the minimum time until
+	// the worker exits.
 	Draining  bool
 	Remaining clock.Millis
-	// Running and Ends are complete but for ends beyond a bound of the
-	// worker's, which follow once earlier ones are acknowledged.
+	// Running and Ends are complete, except that a worker limits the number of
+	// ends; the rest follows once earlier ones are acknowledged.
 	Running []RunStatus
 	Ends    []RunEnd
-	// ReceivedAt is the steady time at which the leader got the heartbeat.
+	// ReceivedAt is the leader's monotonic time of receipt.
 	ReceivedAt clock.Millis
 }
 
-// Start tells a worker to run a task.
+// Start orders a worker to run a task.
 type Start struct {
 	Task       jobs.TaskID
 	Run        int
 	Spec       string
 	Checkpoint string
-	// Ticket is the leave of the advice service; empty for a queue without
+	// Ticket is the permission of the advice service; empty for a queue without
 	// advice.
 	Ticket string
 }
 
-// Stop tells a worker to end a run.
+// Stop orders a worker to stop a run.
 type Stop struct {
 	Task jobs.TaskID
 	Run  int
 }
 
-// Throttle tells a worker to let a task work at a share of its speed.
+// Throttle orders a worker to limit a task to a percentage of its full speed.
 type Throttle struct {
 	Task    jobs.TaskID
 	Run     int
 	Percent int
 }
 
-// Orders answer a heartbeat.
+// Orders is the reply to a heartbeat.
 type Orders struct {
 	Worker      jobs.WorkerID
 	Incarnation jobs.Incarnation
-	// AckUpTo is the number of the last end that is taken note of.
+	// AckUpTo is the number of the last run end that has been processed.
 	AckUpTo   int64
 	Starts    []Start
 	Stops     []Stop
 	Throttles []Throttle
 	// RetryAfter is the pause until the next heartbeat.
 	RetryAfter clock.Millis
-	// LeaseGranted is false for a worker that may no longer run anything.
+	// LeaseGranted is false for a worker that must not run anything any longer.
 	LeaseGranted bool
 }
 
-// ActionKind tells actions apart.
+// ActionKind is the kind of an action.
 type ActionKind int
 
 // The kinds of action.
 const (
 	// ActionMaintain orders the maintenance of a machine in a wave.
 	ActionMaintain ActionKind = iota
-	// ActionMove moves a machine to a pool; what runs on it ends.
+	// ActionMove moves a machine to a pool; the tasks running on it end.
 	ActionMove
-	// ActionListMachines asks for the machines of all pools.
+	// ActionListMachines requests the list of the machines of all pools.
 	ActionListMachines
-	// ActionAdvise asks which of Workers may run a step.
+	// ActionAdvise requests which of Workers may run a step.
 	ActionAdvise
 )
 
-// Action is what the platform is to do.
+// Action is a request to the platform.
 type Action struct {
 	Kind    ActionKind
 	Machine jobs.MachineID
 	Wave    int
 	Pool    jobs.PoolName
-	// Step is the first task of the step that Workers are named for, and Takes
-	// how long the answer is expected to take.
+	// Step is the first task of the step for which Workers are named.
+	// ExpectedDuration is the expected response time.
 	Step             jobs.TaskID
 	Workers          []jobs.WorkerID
 	ExpectedDuration clock.Millis
 }
 
-// Machine is a machine as the platform lists it.
+// Machine is a machine in the platform's list.
 type Machine struct {
 	ID   jobs.MachineID
 	Pool jobs.PoolName
-	// Up is false while the machine moves, is maintained or is down.
+	// Up is false while the machine is being moved or maintained, or is down.
 	Up       bool
 	Capacity jobs.Resources
 }
@@ -180,11 +183,11 @@
 // Outcome is the platform's answer to an action.
 type Outcome struct {
 	Answer Answer
-	// Reason says why the answer is not AnswerDone; empty for no reason given.
+	// Reason says why Answer is not AnswerDone; empty if no reason was given.
 	Reason string
-	// Machines answers ActionList.
+	// Machines is the result of ActionListMachines.
 	Machines []Machine
-	// Tickets answers ActionAdvise.
+	// Tickets is the result of ActionAdvise.
 	Tickets []Ticket
 }
 
@@ -196,9 +199,9 @@
 	return o.Answer.String() + ": " + o.Reason
 }
 
-// Plan is the outcome of a pass.
+// Plan is the result of a pass.
 type Plan struct {
-	// Ops have to be committed before anything else of the plan takes effect.
+	// Ops must be committed before any other part of the plan takes effect.
 	Ops     []jobs.Op
 	Orders  []Orders
 	Actions []Action
