--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -10,407 +10,429 @@
 	"camphorridge/core/state/jobs"
 )
 
-// orderRetryMillis separates two orders for one machine when the first was
-// refused for now or its answer was lost.
+// orderRetryMillis is the pause before the order for a machine is repeated
+// after it was refused for now or its answer was lost.
 const orderRetryMillis clock.Millis = 400
 
-// refusalsToList is the number of refusals of a machine after which the list of
-// machines is read again.
-const refusalsToList = 8
+// refusalsBeforeList is the number of refusals of a machine after which the
+// list of machines is requested again.
+const refusalsBeforeList = 8
 
-// upkeepPeriod separates two looks at the waves.
-const upkeepPeriod clock.Millis = 50
+// maintenancePeriodMillis is the interval between two checks of the waves.
+const maintenancePeriodMillis clock.Millis = 50
 
-// wave is the progress of a declared maintenance in this term.
+// wave is the progress of a declared wave in this term.
 type wave struct {
 	*jobs.Wave
-	// away holds the machines that were ordered to be maintained and are not
-	// known to be back, with the life that their worker had.
-	away map[jobs.MachineID]absence
-	// next holds the time before which an order is not repeated.
-	next map[jobs.MachineID]clock.Millis
-	// flying holds the machines whose order has no answer yet.
-	flying map[jobs.MachineID]bool
-	// refused counts the refusals of a machine since the last list of machines.
-	refused map[jobs.MachineID]int
-	// repeated holds the machines that were ordered more than once: a good
-	// answer may then speak of the first order.
+	// down holds the machines whose maintenance was ordered and that are not
+	// known to be back.
+	down map[jobs.MachineID]downtime
+	// nextOrder holds the earliest time of the next order for a machine.
+	nextOrder map[jobs.MachineID]clock.Millis
+	// pending holds the machines whose order has no answer yet.
+	pending map[jobs.MachineID]bool
+	// refusals counts the refusals of a machine since the last list of
+	// machines.
+	refusals map[jobs.MachineID]int
+	// repeated holds the machines that were ordered more than once: a positive
+	// answer may then refer to the first order.
 	repeated map[jobs.MachineID]bool
 }
 
-type absence struct {
-	life jobs.Incarnation
-	// from is when the order was given, or the term began.
-	from clock.Millis
+// downtime is the expected downtime of a machine.
+type downtime struct {
+	// incarnation is that of the machine's worker at the order; 0 for none or
+	// unknown.
+	incarnation jobs.Incarnation
+	// since is when the maintenance was ordered or confirmed; 0 for an order of
+	// an earlier term.
+	since clock.Millis
 }
 
 func newWave(w *jobs.Wave) *wave {
 	v := &wave{
-		Wave: w, away: map[jobs.MachineID]absence{}, next: map[jobs.MachineID]clock.Millis{},
-		flying: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refused: map[jobs.MachineID]int{},
+		Wave: w, down: map[jobs.MachineID]downtime{}, nextOrder: map[jobs.MachineID]clock.Millis{},
+		pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
 	}
-	// What an earlier leader ordered may be down now.
+	// The machines that an earlier leader ordered may be down now.
 	for m := range w.Ordered {
-		v.away[m] = absence{}
+		v.down[m] = downtime{}
 	}
 	return v
 }
 
-// DeclareWave accepts a wave. A number that is known is left as it is.
-func (b *Scheduler[O, J]) DeclareWave(w jobs.Wave, now clock.Millis) {
-	if b.State.Waves[w.Number] != nil {
+// DeclareWave accepts a wave, whose Deadline is relative to now. It has no
+// effect if the wave number is known.
+func (s *Scheduler[P, H]) DeclareWave(w jobs.Wave, now clock.Millis) {
+	if s.State.Waves[w.Number] != nil {
 		return
 	}
-	w.DeclaredAt = max(now, b.State.Time)
+	w.DeclaredAt = max(now, s.State.Time)
 	w.Deadline += w.DeclaredAt
 	w.MaxDown = max(w.MaxDown, 1)
-	b.apply(jobs.Op{Kind: jobs.OpDeclareWave, WaveNumber: w.Number, Wave: &w}, now)
-	b.waves[w.Number] = newWave(b.State.Waves[w.Number])
+	s.apply(jobs.Op{Kind: jobs.OpDeclareWave, WaveNumber: w.Number, Wave: &w}, now)
+	s.waves[w.Number] = newWave(s.State.Waves[w.Number])
 }
 
-// maintain orders the maintenance of machines of the waves, at most the cap of
-// each at a time, and keeps new work off the machines that come next.
-func (b *Scheduler[O, J]) maintain(now clock.Millis) {
-	if now < b.upkeep {
+// advanceWaves orders the maintenance of machines of the waves, at most MaxDown
+// of a wave at a time, and keeps new tasks off the machines that come next.
+func (s *Scheduler[P, H]) advanceWaves(now clock.Millis) {
+	if now < s.nextMaintenance {
 		return
 	}
-	b.upkeep = now + upkeepPeriod
-	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
-		v := b.waves[n]
-		b.returned(v, now)
-		if v.Completed() || now < b.began+b.set.TakeoverDelayMillis {
+	s.nextMaintenance = now + maintenancePeriodMillis
+	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
+		v := s.waves[n]
+		s.clearReturned(v, now)
+		if v.Completed() || now < s.termStart+s.settings.TakeoverDelayMillis {
 			continue
 		}
-		b.advance(v, now)
+		s.advanceWave(v, now)
 	}
 }
 
-// returned forgets the absence of machines whose worker has a new life. One
-// without a known worker, such as a machine that is off, has none to come back;
-// the time that a maintenance takes bounds its absence.
-func (b *Scheduler[O, J]) returned(v *wave, now clock.Millis) {
-	for m, a := range v.away {
-		if v.flying[m] {
+// clearReturned removes from down the machines whose worker has a new
+// incarnation. A machine without a known worker, such as one that is powered
+// off, has none that could return; its downtime is limited by the duration of a
+// maintenance.
+func (s *Scheduler[P, H]) clearReturned(v *wave, now clock.Millis) {
+	for m, outage := range v.down {
+		if v.pending[m] {
 			continue
 		}
-		w := b.machines[m]
-		back := w != nil && a.life != 0 && w.life != a.life
-		most := 2 * b.set.MaintenanceMillis
-		if a.life != 0 {
-			most += b.set.MaintenanceMillis
+		w := s.workerByMachine[m]
+		returned := w != nil && outage.incarnation != 0 && w.incarnation != outage.incarnation
+		longest := 2 * s.settings.MaintenanceMillis
+		if outage.incarnation != 0 {
+			longest += s.settings.MaintenanceMillis
 		}
-		if back || now >= max(a.from, b.began)+most {
-			delete(v.away, m)
-			b.stay(w, a.life)
+		if returned || now >= max(outage.since, s.termStart)+longest {
+			delete(v.down, m)
+			s.makeAvailable(w, outage.incarnation)
 		}
 	}
 }
 
-// stay gives tasks again to a worker whose machine was ordered away and is still
-// there after the time that this takes: the order was not carried out.
-func (b *Scheduler[O, J]) stay(w *worker, life jobs.Incarnation) {
-	if w != nil && w.life == life && w.leaving {
-		w.leaving = false
-		b.dirty[b.pool(w.pool)] = true
+// makeAvailable gives tasks again to a worker whose machine should have been
+// maintained or moved but is still there after the time that this takes: the
+// order was not carried out.
+func (s *Scheduler[P, H]) makeAvailable(w *worker, incarnation jobs.Incarnation) {
+	if w != nil && w.incarnation == incarnation && w.goingDown {
+		w.goingDown = false
+		s.dirtyPools[s.pool(w.pool)] = true
 	}
 }
 
-// advance gives the orders that the cap allows. No more machines are down at a
-// time than the deadline calls for, and those of pools without waiting work go
-// first, so that a wave takes little room while a pool needs it.
-func (b *Scheduler[O, J]) advance(v *wave, now clock.Millis) {
-	var left []jobs.MachineID
+// advanceWave gives the orders that MaxDown allows. It takes down no more
+// machines at a time than the deadline requires, and prefers those of pools
+// without waiting work, so that a wave takes little capacity while a pool needs
+// it.
+func (s *Scheduler[P, H]) advanceWave(v *wave, now clock.Millis) {
+	var remaining []jobs.MachineID
 	for _, m := range v.Machines {
-		if !v.Started[m] && !v.flying[m] {
-			left = append(left, m)
+		if !v.Started[m] && !v.pending[m] {
+			remaining = append(remaining, m)
 		}
 	}
-	pace := b.pace(v, now)
-	slices.SortStableFunc(left, func(x, y jobs.MachineID) int {
-		return cmp.Compare(b.burden(x), b.burden(y))
+	parallel := s.requiredParallelism(v, now)
+	slices.SortStableFunc(remaining, func(x, y jobs.MachineID) int {
+		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
 	})
-	room, ahead := pace-len(v.away), pace
-	for _, m := range left {
-		w := b.machines[m]
-		_, away := v.away[m]
+	free, toCordon := parallel-len(v.down), parallel
+	for _, m := range remaining {
+		w := s.workerByMachine[m]
+		_, isDown := v.down[m]
 		switch {
-		case v.next[m] > now:
-		case away && len(v.away) > v.MaxDown:
-			// An earlier leader ordered more than the cap, as some were refused.
-			// Which of them are down is not known until all must be back.
-		case away:
+		case v.nextOrder[m] > now:
+		case isDown && len(v.down) > v.MaxDown:
+			// An earlier leader ordered more than MaxDown, because some orders were
+			// refused. Which machines are down is unknown until all must be back.
+		case isDown:
 			// The answer to an earlier order was lost.
-			b.orderMaintenance(v, m, w, now)
-		case room > 0 && b.clear(v, w, now):
-			room--
-			b.orderMaintenance(v, m, w, now)
-		case w != nil && ahead > 0:
-			ahead--
-			w.held = true
-		case w != nil && w.held:
-			w.held = false
-			b.dirty[b.pool(w.pool)] = true
+			s.orderMaintenance(v, m, w, now)
+		case free > 0 && s.mayGoDown(v, w, now):
+			free--
+			s.orderMaintenance(v, m, w, now)
+		case w != nil && toCordon > 0:
+			toCordon--
+			w.cordoned = true
+		case w != nil && w.cordoned:
+			w.cordoned = false
+			s.dirtyPools[s.pool(w.pool)] = true
 		}
 	}
 }
 
-// marginMillis is the time before a wave's deadline by which it is to be done.
-const marginMillis = 3 * clock.Second
-
-// pace is the number of machines that have to be down at a time for the wave
-// to end in time.
-func (b *Scheduler[O, J]) pace(v *wave, now clock.Millis) int {
-	left := clock.Millis(len(v.Machines) - len(v.Started))
-	each := b.set.MaintenanceMillis + b.set.MaxHoldMillis
-	time := max(v.Deadline-marginMillis-now, each)
-	return int(min(max((left*each+time-1)/time, 1), clock.Millis(v.MaxDown)))
+// deadlineMarginMillis is how long before its deadline a wave should be
+// completed.
+const deadlineMarginMillis = 3 * clock.Second
+
+// requiredParallelism returns the number of machines that must be down at a
+// time to complete the wave in time, at most MaxDown.
+func (s *Scheduler[P, H]) requiredParallelism(v *wave, now clock.Millis) int {
+	remaining := clock.Millis(len(v.Machines) - len(v.Started))
+	perMachine := s.settings.MaintenanceMillis + s.settings.MaxHoldMillis
+	available := max(v.Deadline-deadlineMarginMillis-now, perMachine)
+	return int(min(max((remaining*perMachine+available-1)/available, 1), clock.Millis(v.MaxDown)))
 }
 
-// burden orders machines for maintenance; small goes first: a machine without
-// a worker, then those of pools without waiting work that run little.
-func (b *Scheduler[O, J]) burden(m jobs.MachineID) int {
-	w := b.machines[m]
+// disruptionCost orders the machines for maintenance, lowest first: machines
+// without a worker, then those of pools without waiting work and with few
+// running tasks that end.
+func (s *Scheduler[P, H]) disruptionCost(m jobs.MachineID) int {
+	w := s.workerByMachine[m]
 	if w == nil {
 		return -1
 	}
-	n := 0
+	cost := 0
 	for _, r := range w.runs {
 		if !r.step.LongRunning {
-			n++
+			cost++
 		}
 	}
-	if b.pool(w.pool).waits() {
-		n += 1000
+	if s.pool(w.pool).hasWaiting() {
+		cost += 1000
 	}
-	if w.held {
-		// A machine that is held already has given its room up.
-		n -= 100
+	if w.cordoned {
+		// A cordoned machine has already given up its capacity.
+		cost -= 100
 	}
-	return max(n, 0)
+	return max(cost, 0)
 }
 
-// waits reports whether tasks of the pool wait for a worker.
-func (p *pool) waits() bool {
-	return slices.ContainsFunc(p.groups, func(g *group) bool { return len(g.waiting) > 0 && !g.rec.Status.Final() })
+// hasWaiting reports whether tasks of the pool wait for a worker.
+func (p *pool) hasWaiting() bool {
+	return slices.ContainsFunc(p.groups, func(g *taskGroup) bool { return len(g.waiting) > 0 && !g.rec.Status.Final() })
 }
 
-// clear reports whether a machine may go down now: what ends by itself has
-// ended, or the wave is short of time, and no lasting step loses more tasks
-// than it may.
-func (b *Scheduler[O, J]) clear(v *wave, w *worker, now clock.Millis) bool {
+// mayGoDown reports whether a machine may go down now: all tasks except
+// long-running ones have ended or the wave is behind schedule, and no step
+// exceeds its MaxUnavailable.
+func (s *Scheduler[P, H]) mayGoDown(v *wave, w *worker, now clock.Millis) bool {
 	if w == nil {
 		return true
 	}
-	late := b.late(v, now)
-	lost := map[groupKey]int{}
-	recs := map[groupKey]*jobs.Record{}
+	behind := s.behindSchedule(v, now)
+	ending := map[stepKey]int{}
+	recs := map[stepKey]*jobs.Record{}
 	for t, r := range w.runs {
 		switch {
 		case !r.step.LongRunning:
-			if !late {
+			if !behind {
 				return false
 			}
-		case r.step.MaxUnavailable > 0 && r.atWork():
-			k := keyOf(t)
-			lost[k]++
+		case r.step.MaxUnavailable > 0 && r.serving():
+			k := stepKeyOf(t)
+			ending[k]++
 			recs[k] = r.rec
 		}
 	}
-	for k, n := range lost {
+	for k, n := range ending {
 		rec := recs[k]
 		if rec.Status.Final() {
 			continue
 		}
-		missing := b.missing(rec, k)
-		if missing+n <= rec.Steps[k.step].MaxUnavailable {
+		unavailable := s.unavailable(rec, k)
+		if unavailable+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
-		if missing == 0 && n > 1 {
-			b.thin(w, k, n)
+		if unavailable == 0 && n > 1 {
+			s.stopOneOf(w, k, n)
 		}
 		return false
 	}
 	return true
 }
 
-// thin stops one of several tasks of a lasting step on a worker, which together
-// are more than may be away, so that it starts on another worker first.
-func (b *Scheduler[O, J]) thin(w *worker, k groupKey, n int) {
-	for _, id := range sortedTasks(w.runs) {
+// stopOneOf stops one of several tasks of a long-running step on a worker that
+// together exceed MaxUnavailable, so that it starts on another worker first.
+func (s *Scheduler[P, H]) stopOneOf(w *worker, k stepKey, n int) {
+	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
-		if keyOf(id) == k && r.listed && !r.stopping {
-			b.stop(w, r, fmt.Sprintf("%d of its step are on a machine to be maintained, no other is away", n))
+		if stepKeyOf(id) == k && r.listed && !r.stopping {
+			s.stopRun(w, r, fmt.Sprintf("%d of its step are on a machine to be maintained, no other is away", n))
 			return
 		}
 	}
 }
 
-// atWork reports whether a lasting task serves its users.
-func (r *run) atWork() bool { return r.listed && r.percent >= 100 && !r.stopping }
+// serving reports whether a long-running task serves its users.
+func (r *run) serving() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
-// missing counts the tasks of a lasting step that are not at work.
-func (b *Scheduler[O, J]) missing(rec *jobs.Record, k groupKey) int {
+// unavailable returns the number of tasks of a long-running step that are not
+// serving.
+func (s *Scheduler[P, H]) unavailable(rec *jobs.Record, k stepKey) int {
 	n := 0
 	for i, t := range rec.Occurrences[k.occurrence].Steps[k.step].Tasks {
-		w := b.workers[t.Worker]
-		if t.Phase != jobs.PhaseAssigned || w == nil || w.leaving {
+		w := s.workers[t.Worker]
+		if t.Phase != jobs.PhaseAssigned || w == nil || w.goingDown {
 			n++
 			continue
 		}
-		r := w.runs[k.task(i)]
-		if r == nil || !r.atWork() {
+		r := w.runs[k.taskID(i)]
+		if r == nil || !r.serving() {
 			n++
 		}
 	}
 	return n
 }
 
-// late reports whether the rest of a wave does not fit the time left unless
-// running tasks are ended.
-func (b *Scheduler[O, J]) late(v *wave, now clock.Millis) bool {
+// behindSchedule reports whether the rest of a wave does not fit into the time
+// left unless running tasks are ended.
+func (s *Scheduler[P, H]) behindSchedule(v *wave, now clock.Millis) bool {
 	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
-	return now+clock.Millis(rounds)*(b.set.MaintenanceMillis+b.set.MaxHoldMillis) > v.Deadline
+	return now+clock.Millis(rounds)*(s.settings.MaintenanceMillis+s.settings.MaxHoldMillis) > v.Deadline
 }
 
-func (b *Scheduler[O, J]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
+// orderMaintenance orders the maintenance of a machine, or repeats the order. w
+// is the machine's worker; nil for none.
+func (s *Scheduler[P, H]) orderMaintenance(v *wave, m jobs.MachineID, w *worker, now clock.Millis) {
 	v.repeated[m] = v.Ordered[m]
 	if !v.Ordered[m] {
-		b.apply(jobs.Op{Kind: jobs.OpMaintenanceOrdered, WaveNumber: v.Number, Machine: m}, now)
+		s.apply(jobs.Op{Kind: jobs.OpMaintenanceOrdered, WaveNumber: v.Number, Machine: m}, now)
 	}
-	a := absence{from: now}
+	outage := downtime{since: now}
 	if w != nil {
-		a.life = w.life
-		w.held, w.leaving = true, true
+		outage.incarnation = w.incarnation
+		w.cordoned, w.goingDown = true, true
 	}
-	if old, ok := v.away[m]; ok {
-		a.from = old.from
-		if old.life != 0 {
-			a.life = old.life
+	if previous, ok := v.down[m]; ok {
+		outage.since = previous.since
+		if previous.incarnation != 0 {
+			outage.incarnation = previous.incarnation
 		}
 	}
-	v.away[m] = a
-	b.noteOrder(v, m, w)
-	v.flying[m] = true
-	v.next[m] = now + orderRetryMillis
-	b.out.Actions = append(b.out.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
+	v.down[m] = outage
+	s.noteMaintenanceOrder(v, m, w)
+	v.pending[m] = true
+	v.nextOrder[m] = now + orderRetryMillis
+	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
 }
 
-// noteOrder explains an order: what ends with the machine, and how many tasks of
-// each lasting step are away beside them.
-func (b *Scheduler[O, J]) noteOrder(v *wave, m jobs.MachineID, w *worker) {
-	reason := fmt.Sprintf("machine %s for wave %d, %d of it down or on their way", m, v.Number, len(v.away))
+// noteMaintenanceOrder explains an order: which long-running tasks with
+// MaxUnavailable it ends, and how many tasks of their step are unavailable
+// then.
+func (s *Scheduler[P, H]) noteMaintenanceOrder(v *wave, m jobs.MachineID, w *worker) {
+	reason := fmt.Sprintf("machine %s for wave %d, %d of it down or on their way", m, v.Number, len(v.down))
 	if w != nil {
-		for _, t := range sortedTasks(w.runs) {
+		for _, t := range sortedTaskIDs(w.runs) {
 			r := w.runs[t]
 			if r.step.MaxUnavailable > 0 {
-				away := b.missing(r.rec, keyOf(t))
-				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, away, r.step.MaxUnavailable)
+				unavailable := s.unavailable(r.rec, stepKeyOf(t))
+				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, unavailable, r.step.MaxUnavailable)
 			}
 		}
 	}
-	b.noteFleet(DecisionMaintenanceOrdered, reason)
+	s.noteFleet(DecisionMaintenanceOrdered, reason)
 }
 
-// Answer is what the platform said to a maintenance order.
+// Answer is the platform's answer to an action.
 type Answer int
 
 // The answers of the platform.
 const (
-	// AnswerDone: the machine goes down, or its maintenance had begun already.
+	// AnswerDone means that the action is carried out: for a maintenance order,
+	// that the machine goes down or its maintenance had started before.
 	AnswerDone Answer = iota
-	// AnswerRefusedForNow: refused for now; nothing was done.
+	// AnswerRefusedForNow means that nothing was done, and the order may be
+	// repeated.
 	AnswerRefusedForNow
-	// AnswerRefusedForGood: the machine does not exist or is not part of the wave.
+	// AnswerRefusedForGood means that the machine does not exist or is not part
+	// of the wave.
 	AnswerRefusedForGood
-	// AnswerUnknown: no answer; the order may have been carried out.
+	// AnswerUnknown means that there was no answer; the order may have been
+	// carried out.
 	AnswerUnknown
 )
 
-var platformAnswers = [...]string{"begun", "refused for now", "refused for good", "no answer"}
+var answerNames = [...]string{"begun", "refused for now", "refused for good", "no answer"}
 
 // String returns the name used in logs.
 func (a Answer) String() string {
-	if a < 0 || int(a) >= len(platformAnswers) {
+	if a < 0 || int(a) >= len(answerNames) {
 		return "undefined"
 	}
-	return platformAnswers[a]
+	return answerNames[a]
 }
 
-// HandleOutcome takes the platform's answer to an action.
-func (b *Scheduler[O, J]) HandleOutcome(a Action, o Outcome, now clock.Millis) {
-	switch a.Kind {
+// HandleOutcome processes the platform's answer to an action.
+func (s *Scheduler[P, H]) HandleOutcome(action Action, outcome Outcome, now clock.Millis) {
+	switch action.Kind {
 	case ActionMaintain:
-		b.maintained(a, o, now)
+		s.handleMaintenance(action, outcome, now)
 	case ActionMove:
-		b.moved(a, o, now)
+		s.handleMove(action, outcome, now)
 	case ActionListMachines:
-		b.machinesListed(o, now)
+		s.handleMachineList(outcome, now)
 	case ActionAdvise:
-		b.answered(a, o, now)
+		s.handleAdvice(action, outcome, now)
 	}
 }
 
-func (b *Scheduler[O, J]) maintained(o Action, out Outcome, now clock.Millis) {
-	v := b.waves[o.Wave]
+// handleMaintenance processes the platform's answer to a maintenance order.
+func (s *Scheduler[P, H]) handleMaintenance(action Action, outcome Outcome, now clock.Millis) {
+	v := s.waves[action.Wave]
 	if v == nil {
 		return
 	}
-	delete(v.flying, o.Machine)
-	b.noteFleet(DecisionMaintenanceAnswered, fmt.Sprintf("machine %s of wave %d: %s", o.Machine, o.Wave, out))
-	switch out.Answer {
+	delete(v.pending, action.Machine)
+	s.noteFleet(DecisionMaintenanceAnswered, fmt.Sprintf("machine %s of wave %d: %s", action.Machine, action.Wave, outcome))
+	switch outcome.Answer {
 	case AnswerDone:
-		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
-		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
-		if w := b.machines[o.Machine]; w != nil && w.life == v.away[o.Machine].life && !v.repeated[o.Machine] {
-			b.remove(w, "its machine is maintained", now)
+		s.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: action.Wave, Machine: action.Machine}, now)
+		v.down[action.Machine] = downtime{incarnation: v.down[action.Machine].incarnation, since: now}
+		if w := s.workerByMachine[action.Machine]; w != nil && w.incarnation == v.down[action.Machine].incarnation && !v.repeated[action.Machine] {
+			s.dropWorker(w, "its machine is maintained", now)
 		}
 	case AnswerRefusedForGood:
-		b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: o.Wave, Machine: o.Machine}, now)
-		delete(v.away, o.Machine)
-		if w := b.machines[o.Machine]; w != nil {
-			w.held, w.leaving = false, false
+		s.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: action.Wave, Machine: action.Machine}, now)
+		delete(v.down, action.Machine)
+		if w := s.workerByMachine[action.Machine]; w != nil {
+			w.cordoned, w.goingDown = false, false
 		}
 	case AnswerRefusedForNow:
-		if v.refused[o.Machine]++; v.refused[o.Machine] == refusalsToList {
-			// The machine may be gone for good; the list of machines tells.
-			b.fleet.asked = 0
+		if v.refusals[action.Machine]++; v.refusals[action.Machine] == refusalsBeforeList {
+			// The machine may no longer exist; a new list of machines shows it.
+			s.fleet.listRequestedAt = 0
 		}
-		// A repeated order may be refused because the first was carried out.
-		if !v.repeated[o.Machine] {
-			delete(v.away, o.Machine)
+		// A repeated order may be refused because the first one was carried
+		// out.
+		if !v.repeated[action.Machine] {
+			delete(v.down, action.Machine)
 		}
-		if w := b.machines[o.Machine]; w != nil {
-			w.leaving = false
+		if w := s.workerByMachine[action.Machine]; w != nil {
+			w.goingDown = false
 		}
-		v.next[o.Machine] = now + orderRetryMillis
+		v.nextOrder[action.Machine] = now + orderRetryMillis
 	case AnswerUnknown:
-		v.away[o.Machine] = absence{life: v.away[o.Machine].life, from: now}
-		v.next[o.Machine] = now + orderRetryMillis
+		v.down[action.Machine] = downtime{incarnation: v.down[action.Machine].incarnation, since: now}
+		v.nextOrder[action.Machine] = now + orderRetryMillis
 	}
 }
 
-// dropMissing takes machines that do not exist any more off the waves: none of
-// them stays to be maintained.
-func (b *Scheduler[O, J]) dropMissing(listed map[jobs.MachineID]bool, now clock.Millis) {
-	for _, n := range slices.Sorted(maps.Keys(b.waves)) {
-		v := b.waves[n]
-		clear(v.refused)
+// dropMissingMachines marks the machines of waves that no longer exist as
+// started, so that the waves do not wait for them.
+func (s *Scheduler[P, H]) dropMissingMachines(listed map[jobs.MachineID]bool, now clock.Millis) {
+	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
+		v := s.waves[n]
+		clear(v.refusals)
 		for _, m := range v.Machines {
-			if v.Started[m] || v.flying[m] || listed[m] || b.machines[m] != nil {
+			if v.Started[m] || v.pending[m] || listed[m] || s.workerByMachine[m] != nil {
 				continue
 			}
-			b.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: v.Number, Machine: m}, now)
-			delete(v.away, m)
-			b.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
+			s.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: v.Number, Machine: m}, now)
+			delete(v.down, m)
+			s.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
 		}
 	}
 }
 
-// maintenanceDue is when the waves have to be looked at again.
-func (b *Scheduler[O, J]) maintenanceDue(now clock.Millis) (clock.Millis, bool) {
-	for _, v := range b.waves {
+// nextMaintenanceCheck returns when the waves must be checked next; false if no
+// wave is open.
+func (s *Scheduler[P, H]) nextMaintenanceCheck(now clock.Millis) (clock.Millis, bool) {
+	for _, v := range s.waves {
 		if !v.Completed() {
-			return max(b.upkeep, b.began+b.set.TakeoverDelayMillis), true
+			return max(s.nextMaintenance, s.termStart+s.settings.TakeoverDelayMillis), true
 		}
 	}
 	return 0, false
