--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -323,9 +323,9 @@
 
 // Ready reports whether all steps that the given step depends on are done.
 func (r *Record) Ready(occurrence, step int) bool {
-	states := &r.Occurrences[occurrence]
+	state := &r.Occurrences[occurrence]
 	for _, dependency := range r.Steps[step].DependsOn {
-		if states.Steps[dependency].DoneTasks < len(states.Steps[dependency].Tasks) {
+		if state.Steps[dependency].DoneTasks < len(state.Steps[dependency].Tasks) {
 			return false
 		}
 	}
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -17,8 +17,8 @@
 	return Op{Kind: OpAssign, Task: t, Run: run, Worker: "w", Incarnation: 1}
 }
 
-func endOp(t TaskID, run int, how Result) Op {
-	return Op{Kind: OpEnd, Task: t, Run: run, Result: how, Checkpoint: "c"}
+func endOp(t TaskID, run int, result Result) Op {
+	return Op{Kind: OpEnd, Task: t, Run: run, Result: result, Checkpoint: "c"}
 }
 
 // TestStatus checks the job status that results from sequences of operations.
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -11,7 +11,7 @@
 	// PoolName identifies a pool of workers that runs the tasks of one or more
 	// queues.
 	PoolName string
-	// WorkerID identifies a worker, the process that runs tasks on a machine.
+	// WorkerID identifies a worker, which runs tasks on a machine.
 	WorkerID string
 	// MachineID identifies the hardware that a worker runs on. It outlives the
 	// worker.
@@ -34,26 +34,26 @@
 }
 
 // Plus returns the sum of r and o for each resource.
-func (s Resources) Plus(o Resources) Resources {
+func (r Resources) Plus(o Resources) Resources {
 	return Resources{
-		MilliCores:   s.MilliCores + o.MilliCores,
-		MemoryMiB:    s.MemoryMiB + o.MemoryMiB,
-		Accelerators: s.Accelerators + o.Accelerators,
+		MilliCores:   r.MilliCores + o.MilliCores,
+		MemoryMiB:    r.MemoryMiB + o.MemoryMiB,
+		Accelerators: r.Accelerators + o.Accelerators,
 	}
 }
 
 // Minus returns r less o for each resource; the result may be negative.
-func (s Resources) Minus(o Resources) Resources {
+func (r Resources) Minus(o Resources) Resources {
 	return Resources{
-		MilliCores:   s.MilliCores - o.MilliCores,
-		MemoryMiB:    s.MemoryMiB - o.MemoryMiB,
-		Accelerators: s.Accelerators - o.Accelerators,
+		MilliCores:   r.MilliCores - o.MilliCores,
+		MemoryMiB:    r.MemoryMiB - o.MemoryMiB,
+		Accelerators: r.Accelerators - o.Accelerators,
 	}
 }
 
 // Fits reports whether free has enough of every resource.
-func (s Resources) Fits(free Resources) bool {
-	return s.MilliCores <= free.MilliCores && s.MemoryMiB <= free.MemoryMiB && s.Accelerators <= free.Accelerators
+func (r Resources) Fits(free Resources) bool {
+	return r.MilliCores <= free.MilliCores && r.MemoryMiB <= free.MemoryMiB && r.Accelerators <= free.Accelerators
 }
 
 // Incarnation distinguishes the runs of a worker process under the same
@@ -304,7 +304,8 @@
 const (
 	// ResultDone means that the run completed successfully.
 	ResultDone Result = iota
-	// ResultFailed counts as an attempt.
+	// ResultFailed means that the run failed. Only failed runs count as
+	// attempts.
 	ResultFailed
 	ResultStopped
 	// ResultExpired means that the worker's lease expired.
@@ -319,11 +320,11 @@
 var resultNames = [...]string{"done", "failed", "stopped", "lapsed", "refused", "lost"}
 
 // String returns the name used in logs.
-func (h Result) String() string {
-	if int(h) >= len(resultNames) {
+func (r Result) String() string {
+	if int(r) >= len(resultNames) {
 		return "unknown"
 	}
-	return resultNames[h]
+	return resultNames[r]
 }
 
 // OpKind is the kind of an operation.
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -54,6 +54,8 @@
 	counts map[jobs.QueueName]adviceCount
 }
 
+// adviceCount counts the workers named in requests and those of them that were
+// approved.
 type adviceCount struct {
 	requested, approved int
 }
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -14,15 +14,15 @@
 
 // newAdvisedFixture returns a fixture whose queue has advice.
 func newAdvisedFixture() *fixture {
-	r := newFixture(Defaults())
-	c := r.State.Config
+	f := newFixture(Defaults())
+	c := f.State.Config
 	c.Version++
 	c.Queues = []jobs.Queue{{
 		Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500,
 		Advice: jobs.AdvicePolicy{TicketValidity: ticketValidity, BaseLatency: 20, LatencyPerWorker: 2},
 	}}
-	r.Configure(c, r.now)
-	return r
+	f.Configure(c, f.now)
+	return f
 }
 
 // adviceRequest returns the only request to the advice service in a plan.
@@ -37,18 +37,18 @@
 // service has not approved or without its ticket, and against repeated requests
 // about workers whose verdict does not change.
 func TestAdvisedStartHasTicket(t *testing.T) {
-	r := newAdvisedFixture()
-	r.submit("a", smallStep)
-	r.heartbeat("w1", 1, nil)
-	r.heartbeat("w2", 1, nil)
-	p := r.Pass(r.now)
+	f := newAdvisedFixture()
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
 	a := adviceRequest(t, p)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 0)
 	assert.DeepEqual(t, a.Step, jobs.TaskID{Job: "a"})
 	assert.DeepEqual(t, a.Workers, []jobs.WorkerID{"w1", "w2"})
-	r.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, r.now+30)
-	r.now += 30
-	p = r.Pass(r.now)
+	f.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, f.now+30)
+	f.now += 30
+	p = f.Pass(f.now)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts), 0)
 	assert.Equal(t, len(ordersFor(p, "w2").Starts), 1)
 	assert.Equal(t, ordersFor(p, "w2").Starts[0].Ticket, "leave")
@@ -58,16 +58,16 @@
 // TestOneAdviceRequestAtATime guards against requests that queue at the advice
 // service, which processes one at a time, behind requests for later work.
 func TestOneAdviceRequestAtATime(t *testing.T) {
-	r := newAdvisedFixture()
-	r.submit("a", smallStep)
-	r.submit("b", smallStep)
-	r.heartbeat("w1", 1, nil)
-	a := adviceRequest(t, r.Pass(r.now))
-	r.now += 100
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionAdvise)), 0)
-	r.HandleOutcome(a, Outcome{}, r.now)
-	b := adviceRequest(t, r.Pass(r.now))
+	f := newAdvisedFixture()
+	f.submit("a", smallStep)
+	f.submit("b", smallStep)
+	f.heartbeat("w1", 1, nil)
+	a := adviceRequest(t, f.Pass(f.now))
+	f.now += 100
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionAdvise)), 0)
+	f.HandleOutcome(a, Outcome{}, f.now)
+	b := adviceRequest(t, f.Pass(f.now))
 	assert.Equal(t, a.Step.Job, jobs.ID("a"))
 	assert.Equal(t, b.Step.Job, jobs.ID("b"))
 }
@@ -75,15 +75,15 @@
 // TestUnansweredAdviceRequestIsRepeated guards against a job that waits forever
 // because one response was lost.
 func TestUnansweredAdviceRequestIsRepeated(t *testing.T) {
-	r := newAdvisedFixture()
-	r.submit("a", smallStep)
-	r.heartbeat("w1", 1, nil)
-	r.HandleOutcome(adviceRequest(t, r.Pass(r.now)), Outcome{Answer: AnswerUnknown}, r.now)
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionAdvise)), 0)
-	r.now += adviceRetryMillis
-	r.heartbeat("w1", 1, nil)
-	adviceRequest(t, r.Pass(r.now))
+	f := newAdvisedFixture()
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	f.HandleOutcome(adviceRequest(t, f.Pass(f.now)), Outcome{Answer: AnswerUnknown}, f.now)
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionAdvise)), 0)
+	f.now += adviceRetryMillis
+	f.heartbeat("w1", 1, nil)
+	adviceRequest(t, f.Pass(f.now))
 }
 
 // TestTicketIsRenewed guards against a start with a ticket that has expired,
@@ -92,31 +92,31 @@
 	two := smallStep
 	two.TaskCount, two.MaxPerWorker = 2, 1
 	for _, c := range []struct {
-		name string
-		life jobs.Incarnation
-		then func(r *fixture, first Orders)
+		name        string
+		incarnation jobs.Incarnation
+		next        func(f *fixture, first Orders)
 	}{
-		{"ticket expired", 1, func(r *fixture, first Orders) {
-			r.now += ticketValidity
-			r.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultDone)...)
+		{"ticket expired", 1, func(f *fixture, first Orders) {
+			f.now += ticketValidity
+			f.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultDone)...)
 		}},
-		{"new incarnation", 2, func(r *fixture, _ Orders) { r.heartbeat("w1", 2, nil) }},
-		{"refused", 1, func(r *fixture, first Orders) { r.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultRefused)...) }},
+		{"new incarnation", 2, func(f *fixture, _ Orders) { f.heartbeat("w1", 2, nil) }},
+		{"refused", 1, func(f *fixture, first Orders) { f.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultRefused)...) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := newAdvisedFixture()
-			r.submit("a", two)
-			r.heartbeat("w1", 1, nil)
-			r.HandleOutcome(adviceRequest(t, r.Pass(r.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, r.now)
-			first := ordersFor(r.Pass(r.now), "w1")
+			f := newAdvisedFixture()
+			f.submit("a", two)
+			f.heartbeat("w1", 1, nil)
+			f.HandleOutcome(adviceRequest(t, f.Pass(f.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, f.now)
+			first := ordersFor(f.Pass(f.now), "w1")
 			assert.Equal(t, len(first.Starts), 1)
-			r.now += 100
-			c.then(r, first)
-			p := r.Pass(r.now)
+			f.now += 100
+			c.next(f, first)
+			p := f.Pass(f.now)
 			assert.Equal(t, len(ordersFor(p, "w1").Starts), 0)
-			r.HandleOutcome(adviceRequest(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, r.now)
-			r.heartbeat("w1", c.life, nil)
-			assert.Equal(t, ordersFor(r.Pass(r.now), "w1").Starts[0].Ticket, "again")
+			f.HandleOutcome(adviceRequest(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, f.now)
+			f.heartbeat("w1", c.incarnation, nil)
+			assert.Equal(t, ordersFor(f.Pass(f.now), "w1").Starts[0].Ticket, "again")
 		})
 	}
 }
@@ -125,17 +125,17 @@
 // request that names all workers is slow and expensive, and one that names too
 // few has to be followed by others.
 func TestAdviceRequestSize(t *testing.T) {
-	r := newAdvisedFixture()
+	f := newAdvisedFixture()
 	for n := range 40 {
-		r.heartbeat("w"+string(rune('0'+n/10))+string(rune('0'+n%10)), 1, nil)
+		f.heartbeat("w"+string(rune('0'+n/10))+string(rune('0'+n%10)), 1, nil)
 	}
-	r.submit("a", smallStep)
-	a := adviceRequest(t, r.Pass(r.now))
+	f.submit("a", smallStep)
+	a := adviceRequest(t, f.Pass(f.now))
 	assert.Equal(t, len(a.Workers), 3)
-	r.HandleOutcome(a, Outcome{}, r.now)
-	r.heartbeat("w00", 1, nil)
-	assert.Assert(t, len(adviceRequest(t, r.Pass(r.now)).Workers) > 3)
-	assert.Equal(t, r.advice.counts["q"], adviceCount{requested: 3})
-	r.Cancel("a", r.now)
-	assert.Equal(t, len(r.advice.steps), 0)
+	f.HandleOutcome(a, Outcome{}, f.now)
+	f.heartbeat("w00", 1, nil)
+	assert.Assert(t, len(adviceRequest(t, f.Pass(f.now)).Workers) > 3)
+	assert.Equal(t, f.advice.counts["q"], adviceCount{requested: 3})
+	f.Cancel("a", f.now)
+	assert.Equal(t, len(f.advice.steps), 0)
 }
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -13,6 +13,7 @@
 
 // The wait reasons, in the order in which they are checked.
 const (
+	// WaitNone means that no task waits, or that the job has ended.
 	WaitNone WaitReason = ""
 	// WaitNotDue means that the occurrence is not due.
 	WaitNotDue WaitReason = "not-due"
@@ -95,9 +96,9 @@
 	return JobSummary{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, Deadline: Deadline(r, len(r.Occurrences)-1)}
 }
 
-// List returns up to most jobs that have not ended, the oldest first, and the
-// total number of them.
-func (s *Scheduler[P, H]) List(limit int) (lines []JobSummary, total int) {
+// List returns summaries of up to limit jobs that have not ended, the oldest
+// first, and the total number of such jobs.
+func (s *Scheduler[P, H]) List(limit int) (summaries []JobSummary, total int) {
 	var unfinished []*jobs.Record
 	for _, r := range s.State.Jobs {
 		if !r.Status.Final() {
@@ -106,9 +107,9 @@
 	}
 	slices.SortFunc(unfinished, func(x, y *jobs.Record) int { return cmp.Compare(x.Seq, y.Seq) })
 	for _, r := range unfinished[:min(len(unfinished), limit)] {
-		lines = append(lines, summarize(r))
+		summaries = append(summaries, summarize(r))
 	}
-	return lines, len(unfinished)
+	return summaries, len(unfinished)
 }
 
 // Explain returns a report on a job; false if the job is unknown.
@@ -134,9 +135,9 @@
 }
 
 func (s *Scheduler[P, H]) explainStep(r *jobs.Record, occurrence, step int, now clock.Millis) StepReport {
-	stepState := &r.Occurrences[occurrence].Steps[step]
-	report := StepReport{Occurrence: occurrence, Step: step, Tasks: len(stepState.Tasks), Done: stepState.DoneTasks, Failures: r.Failures(occurrence, step)}
-	for _, t := range stepState.Tasks {
+	state := &r.Occurrences[occurrence].Steps[step]
+	report := StepReport{Occurrence: occurrence, Step: step, Tasks: len(state.Tasks), Done: state.DoneTasks, Failures: r.Failures(occurrence, step)}
+	for _, t := range state.Tasks {
 		report.Runs += t.Run
 		switch t.Phase {
 		case jobs.PhaseWaiting:
@@ -164,10 +165,10 @@
 	p := s.pool(s.poolOf(r))
 	g := &taskGroup{key: stepKey{r.ID, occurrence, step}, rec: r, step: &r.Steps[step]}
 	need := reservation(g.step)
-	left := slices.Collect(s.liveWorkers(p, now))
+	remaining := slices.Collect(s.liveWorkers(p, now))
 	for _, check := range []struct {
-		limit WaitReason
-		holds func(*worker) bool
+		reason WaitReason
+		meets  func(*worker) bool
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
 		{WaitLabel, func(w *worker) bool { return w.hasLabel(g) }},
@@ -178,9 +179,9 @@
 		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
 		{WaitCapacity, func(w *worker) bool { return need.Fits(w.capacity.Minus(w.used)) }},
 	} {
-		left = slices.DeleteFunc(left, func(w *worker) bool { return !check.holds(w) })
-		if len(left) == 0 {
-			return check.limit
+		remaining = slices.DeleteFunc(remaining, func(w *worker) bool { return !check.meets(w) })
+		if len(remaining) == 0 {
+			return check.reason
 		}
 	}
 	if g.step.Gang {
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -24,12 +24,12 @@
 // TestGangStartsTogether guards against a part of a gang that takes capacity
 // while it waits for the rest.
 func TestGangStartsTogether(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("g", gangStep)
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 0)
-	r.heartbeat("w2", 1, nil)
-	p := r.Pass(r.now)
+	f := newFixture(Defaults())
+	f.submit("g", gangStep)
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 0)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 6)
 }
 
@@ -37,24 +37,24 @@
 // the others of the earlier run, with another run number or from another
 // checkpoint. Such a gang could never work.
 func TestGangRestartsTogether(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("g", gangStep)
-	r.heartbeat("w1", 1, nil)
-	r.heartbeat("w2", 1, nil)
-	p := r.Pass(r.now)
+	f := newFixture(Defaults())
+	f.submit("g", gangStep)
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
 	first, second := ordersFor(p, "w1"), ordersFor(p, "w2")
-	r.now += 300
+	f.now += 300
 	failed := first.Starts[0]
-	r.heartbeat("w1", 1, runsFor(first)[1:], RunEnd{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Checkpoint: "s1"})
-	r.heartbeat("w2", 1, runsFor(second))
-	p = r.Pass(r.now)
+	f.heartbeat("w1", 1, runsFor(first)[1:], RunEnd{Number: 1, Task: failed.Task, Run: 1, Result: jobs.ResultFailed, Checkpoint: "s1"})
+	f.heartbeat("w2", 1, runsFor(second))
+	p = f.Pass(f.now)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 0)
 	assert.Equal(t, len(ordersFor(p, "w1").Stops), len(first.Starts)-1)
 	assert.Equal(t, len(ordersFor(p, "w2").Stops), len(second.Starts))
-	r.now += otherWorkerMillis
-	r.heartbeat("w1", 1, nil)
-	r.heartbeat("w2", 1, nil)
-	p = r.Pass(r.now)
+	f.now += otherWorkerMillis
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p = f.Pass(f.now)
 	starts := append(ordersFor(p, "w1").Starts, ordersFor(p, "w2").Starts...)
 	assert.Equal(t, len(starts), 6)
 	for _, s := range starts {
@@ -66,41 +66,41 @@
 // TestGangEndsTogether guards against a gang whose job never ends because the
 // results of some of its tasks are lost with their worker.
 func TestGangEndsTogether(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	after := smallStep
 	after.DependsOn = []int{0}
-	r.submit("g", gangStep, after)
-	r.heartbeat("w1", 1, nil)
-	r.heartbeat("w2", 1, nil)
-	p := r.Pass(r.now)
+	f.submit("g", gangStep, after)
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
 	first := ordersFor(p, "w1")
-	r.now += 1000
-	r.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultDone)[:1]...)
-	p = r.Pass(r.now)
-	assert.Equal(t, r.State.Jobs["g"].Occurrences[0].Steps[0].DoneTasks, 6)
+	f.now += 1000
+	f.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultDone)[:1]...)
+	p = f.Pass(f.now)
+	assert.Equal(t, f.State.Jobs["g"].Occurrences[0].Steps[0].DoneTasks, 6)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts), 1)
-	r.RemoveWorker("w2", 1, r.now)
-	r.now += 500
+	f.RemoveWorker("w2", 1, f.now)
+	f.now += 500
 	done := endsFor(ordersFor(p, "w1"), jobs.ResultDone)
 	done[0].Number = 2
-	r.heartbeat("w1", 1, nil, done...)
-	r.Pass(r.now)
-	assert.Equal(t, r.State.Jobs["g"].Status, jobs.StatusCompleted)
+	f.heartbeat("w1", 1, nil, done...)
+	f.Pass(f.now)
+	assert.Equal(t, f.State.Jobs["g"].Status, jobs.StatusCompleted)
 }
 
 // TestGangFailuresCountByRun guards against a job that fails too early because
 // several tasks of one run of a gang failed, and against one that never fails
 // because each run fails in another task.
 func TestGangFailuresCountByRun(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("g", gangStep)
+	f := newFixture(Defaults())
+	f.submit("g", gangStep)
 	number := int64(0)
 	for attempt := range 2 {
-		assert.Equal(t, r.State.Jobs["g"].Status.Final(), false)
-		r.now += otherWorkerMillis
-		r.heartbeat("w1", 1, nil)
-		r.heartbeat("w2", 1, nil)
-		p := r.Pass(r.now)
+		assert.Equal(t, f.State.Jobs["g"].Status.Final(), false)
+		f.now += otherWorkerMillis
+		f.heartbeat("w1", 1, nil)
+		f.heartbeat("w2", 1, nil)
+		p := f.Pass(f.now)
 		for _, id := range []string{"w1", "w2"} {
 			ends := endsFor(ordersFor(p, id), jobs.ResultStopped)
 			for n := range ends {
@@ -115,43 +115,43 @@
 					ends[1].Result = jobs.ResultFailed
 				}
 			}
-			r.now += 100
-			r.heartbeat(id, 1, nil, ends...)
+			f.now += 100
+			f.heartbeat(id, 1, nil, ends...)
 		}
-		r.Pass(r.now)
+		f.Pass(f.now)
 	}
-	assert.Equal(t, r.State.Jobs["g"].Status, jobs.StatusFailed)
-	x, _ := r.Explain("g", r.now)
-	assert.Equal(t, x.Steps[0].Failures, 2)
+	assert.Equal(t, f.State.Jobs["g"].Status, jobs.StatusFailed)
+	report, _ := f.Explain("g", f.now)
+	assert.Equal(t, report.Steps[0].Failures, 2)
 }
 
 // TestGangReservesCapacity runs a full pool with a constant stream of small
 // tasks. Without reserved capacity a wide gang would never start.
 func TestGangReservesCapacity(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	fill := smallStep
 	fill.TaskCount, fill.Resources.MilliCores = 16, 1000
-	r.submit("fill", fill)
-	r.heartbeat("w1", 1, nil)
-	running := runsFor(ordersFor(r.Pass(r.now), "w1"))
+	f.submit("fill", fill)
+	f.heartbeat("w1", 1, nil)
+	running := runsFor(ordersFor(f.Pass(f.now), "w1"))
 	assert.Equal(t, len(running), 16)
 	wide := gangStep
 	wide.TaskCount = 4
-	r.submit("g", wide)
+	f.submit("g", wide)
 	number := int64(0)
 	for n := range 40 {
-		r.now += 50
+		f.now += 50
 		// A later job waits for each task that ends.
 		one := smallStep
-		r.submit(fmt.Sprint("later", n), one)
+		f.submit(fmt.Sprint("later", n), one)
 		var ends []RunEnd
 		if len(running) > 0 {
 			number++
 			ends = append(ends, RunEnd{Number: number, Task: running[0].Task, Run: running[0].Run, Result: jobs.ResultDone})
 			running = running[1:]
 		}
-		r.heartbeat("w1", 1, running, ends...)
-		for _, s := range ordersFor(r.Pass(r.now), "w1").Starts {
+		f.heartbeat("w1", 1, running, ends...)
+		for _, s := range ordersFor(f.Pass(f.now), "w1").Starts {
 			if s.Task.Job == "g" {
 				return
 			}
@@ -169,8 +169,8 @@
 	wide.TaskCount = 4
 	longRunning := jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true}
 	for _, c := range []struct {
-		name string
-		rig  *fixture
+		name    string
+		fixture *fixture
 		// before is submitted first.
 		before []jobs.Step
 	}{
@@ -178,22 +178,22 @@
 		{"advice", newAdvisedFixture(), nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := c.rig
+			f := c.fixture
 			if c.before != nil {
-				r.submit("before", c.before...)
+				f.submit("before", c.before...)
 			}
-			r.heartbeat("w1", 1, nil)
-			running := runsFor(ordersFor(r.Pass(r.now), "w1"))
-			r.submit("g", wide)
-			r.now += 2 * gangWaitMillis
-			g := r.pool("p").groups
-			assert.Assert(t, !r.reservesCapacity(r.pool("p"), g[len(g)-1], r.now))
+			f.heartbeat("w1", 1, nil)
+			running := runsFor(ordersFor(f.Pass(f.now), "w1"))
+			f.submit("g", wide)
+			f.now += 2 * gangWaitMillis
+			g := f.pool("p").groups
+			assert.Assert(t, !f.reservesCapacity(f.pool("p"), g[len(g)-1], f.now))
 			if c.before == nil {
 				return
 			}
-			r.submit("small", smallStep)
-			r.heartbeat("w1", 1, running)
-			assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 1)
+			f.submit("small", smallStep)
+			f.heartbeat("w1", 1, running)
+			assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 1)
 		})
 	}
 }
@@ -217,24 +217,24 @@
 		{"a rack has capacity soon", []string{"r-1", "r-2"}, "r-2", []int{0, 0}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := newFixture(Defaults())
-			racked := func(id, rack string) {
-				r.seq++
-				r.Heartbeat(Heartbeat{
+			f := newFixture(Defaults())
+			heartbeatFrom := func(id, rack string) {
+				f.seq++
+				f.Heartbeat(Heartbeat{
 					Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", rack},
-					Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
-				}, r.now)
+					Seq: f.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: f.now,
+				}, f.now)
 			}
 			if c.busy != "" {
-				racked("busy", c.busy)
-				r.now += r.settings.MaxHoldMillis
-				r.Pass(r.now)
+				heartbeatFrom("busy", c.busy)
+				f.now += f.settings.MaxHoldMillis
+				f.Pass(f.now)
 			}
-			r.submit("g", one)
+			f.submit("g", one)
 			for n, rack := range c.racks {
-				racked(fmt.Sprint("w", n), rack)
+				heartbeatFrom(fmt.Sprint("w", n), rack)
 			}
-			p := r.Pass(r.now)
+			p := f.Pass(f.now)
 			var got []int
 			for n := range c.racks {
 				got = append(got, len(ordersFor(p, fmt.Sprint("w", n)).Starts))
@@ -248,14 +248,14 @@
 // earlier leader and whose other tasks keep their capacity until their own
 // timeout.
 func TestNewLeaderStopsBrokenGang(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("g", gangStep)
-	r.heartbeat("w1", 1, nil)
-	r.heartbeat("w2", 1, nil)
-	p := r.Pass(r.now)
+	f := newFixture(Defaults())
+	f.submit("g", gangStep)
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
 	rest := runsFor(ordersFor(p, "w2"))
-	r.RemoveWorker("w1", 1, r.now)
-	next := &fixture{testScheduler: New(r.settings, r.rankPolicy, r.healthPolicy, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	f.RemoveWorker("w1", 1, f.now)
+	next := &fixture{testScheduler: New(f.settings, f.rankPolicy, f.healthPolicy, f.State.Clone(), f.now), now: f.now + 100, seq: f.seq}
 	next.heartbeat("w2", 1, rest)
 	assert.Equal(t, len(ordersFor(next.Pass(next.now), "w2").Stops), len(rest))
 }
@@ -264,32 +264,32 @@
 // with its queue to another pool and is placed only at that pool's next
 // heartbeat.
 func TestQueueMovedToPoolIsPlacedAtOnce(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("a", smallStep)
-	r.seq++
-	r.Heartbeat(Heartbeat{
-		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: r.seq,
-		Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: r.now,
-	}, r.now)
-	r.Pass(r.now)
-	c := r.State.Config
+	f := newFixture(Defaults())
+	f.submit("a", smallStep)
+	f.seq++
+	f.Heartbeat(Heartbeat{
+		Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "other", Seq: f.seq,
+		Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, ReceivedAt: f.now,
+	}, f.now)
+	f.Pass(f.now)
+	c := f.State.Config
 	c.Version++
 	c.Queues = []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "other", MaxAttempts: 2}}
-	r.Configure(c, r.now)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 1)
+	f.Configure(c, f.now)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 1)
 }
 
 // TestFailedTaskReturnsToOnlyWorker guards against a task that waits forever
 // because it failed on the only worker of its pool.
 func TestFailedTaskReturnsToOnlyWorker(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("a", smallStep)
-	r.heartbeat("w1", 1, nil)
-	o := ordersFor(r.Pass(r.now), "w1")
-	r.now += 400
-	r.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 0)
-	r.now += otherWorkerMillis
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 1)
+	f := newFixture(Defaults())
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	o := ordersFor(f.Pass(f.now), "w1")
+	f.now += 400
+	f.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 0)
+	f.now += otherWorkerMillis
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 1)
 }
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -10,9 +10,9 @@
 )
 
 // Heartbeat processes a heartbeat; its reply is part of a later plan. It
-// returns false for a heartbeat that is out of date: one of an earlier
-// incarnation of the worker or of the machine's worker, or one that is not
-// newer than the last one processed.
+// returns false for an outdated heartbeat: one of an incarnation that was
+// removed or is earlier than the current one of the worker or the machine, or
+// one that is not newer than the last one processed.
 func (s *Scheduler[P, H]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	s.now = max(s.now, now)
 	w := s.workers[h.Worker]
@@ -179,19 +179,19 @@
 		r.listed = false
 	}
 	s.clearUnassigned(w)
-	for _, x := range h.Running {
-		r := w.runs[x.Task]
-		if r == nil || r.number != x.Run {
-			s.addUnassigned(w, x)
+	for _, status := range h.Running {
+		r := w.runs[status.Task]
+		if r == nil || r.number != status.Run {
+			s.addUnassigned(w, status)
 			continue
 		}
-		r.listed, r.load = true, x.Load
-		if x.Percent != r.percent || r.progressedAt == 0 {
+		r.listed, r.load = true, status.Load
+		if status.Percent != r.percent || r.progressedAt == 0 {
 			r.progressedAt = now
 		}
-		r.percent = x.Percent
-		if x.Checkpoint != "" {
-			r.checkpoint = x.Checkpoint
+		r.percent = status.Percent
+		if status.Checkpoint != "" {
+			r.checkpoint = status.Checkpoint
 		}
 	}
 }
@@ -205,15 +205,15 @@
 
 // addUnassigned records a run that is not assigned to the worker. It takes
 // capacity until it has ended.
-func (s *Scheduler[P, H]) addUnassigned(w *worker, x RunStatus) {
-	extra := unassignedRun{run: x.Run}
-	if r := s.State.Jobs[x.Task.Job]; r != nil && x.Task.Step >= 0 && x.Task.Step < len(r.Steps) {
-		extra.resources = reservation(&r.Steps[x.Task.Step])
+func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
+	extra := unassignedRun{run: status.Run}
+	if r := s.State.Jobs[status.Task.Job]; r != nil && status.Task.Step >= 0 && status.Task.Step < len(r.Steps) {
+		extra.resources = reservation(&r.Steps[status.Task.Step])
 	}
 	if w.unassigned == nil {
 		w.unassigned = map[jobs.TaskID]unassignedRun{}
 	}
-	w.unassigned[x.Task] = extra
+	w.unassigned[status.Task] = extra
 	w.used = w.used.Plus(extra.resources)
 }
 
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -61,16 +61,16 @@
 }
 
 // noteRun adds a note on a run to the plan.
-func (s *Scheduler[P, H]) noteRun(what Decision, r *run, w *worker, reason string) {
-	s.plan.Notes = append(s.plan.Notes, Note{Decision: what, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
+func (s *Scheduler[P, H]) noteRun(decision Decision, r *run, w *worker, reason string) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
 }
 
 // noteJob adds a note on a job to the plan.
-func (s *Scheduler[P, H]) noteJob(what Decision, r *jobs.Record, reason string, failure bool) {
-	s.plan.Notes = append(s.plan.Notes, Note{Decision: what, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: failure})
+func (s *Scheduler[P, H]) noteJob(decision Decision, r *jobs.Record, reason string, important bool) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: important})
 }
 
 // noteFleet adds a note on machines or pools to the plan.
-func (s *Scheduler[P, H]) noteFleet(what Decision, reason string) {
-	s.plan.Notes = append(s.plan.Notes, Note{Decision: what, Reason: reason})
+func (s *Scheduler[P, H]) noteFleet(decision Decision, reason string) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Reason: reason})
 }
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -103,13 +103,14 @@
 	// newWork is the work submitted since the last update of arrivalRate, in
 	// milli-cores times milliseconds.
 	newWork clock.Millis
-	// arrivalRate is the new work per time, in milli-cores, averaged over about
-	// half a second.
+	// arrivalRate is the moving average of the work that arrives per
+	// millisecond, in milli-cores, over about half a second.
 	arrivalRate float64
 	// history records the results of the pool's workers, by queue.
 	history map[jobs.QueueName]*place.ClassHistory
 }
 
+// stepKey identifies a step of one occurrence of a job.
 type stepKey struct {
 	job        jobs.ID
 	occurrence int
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -316,11 +316,11 @@
 // finiteWork returns the work of some tasks of a step, each of the given
 // duration, in milli-cores times milliseconds; 0 for long-running and
 // best-effort tasks.
-func finiteWork(s *jobs.Step, tasks int, each clock.Millis) clock.Millis {
-	if s.LongRunning || s.BestEffort {
+func finiteWork(step *jobs.Step, tasks int, each clock.Millis) clock.Millis {
+	if step.LongRunning || step.BestEffort {
 		return 0
 	}
-	return clock.Millis(tasks*s.Resources.MilliCores) * each
+	return clock.Millis(tasks*step.Resources.MilliCores) * each
 }
 
 // load returns the milli-cores that the worker's tasks need to finish within
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -33,8 +33,7 @@
 	// configVersion is the version of the configuration that poolByQueue and
 	// adviceRules were built from.
 	configVersion uint64
-	// adviceRules holds the policies of the configured queues that have
-	// advice.
+	// adviceRules holds the policies of the configured queues that have advice.
 	adviceRules map[jobs.QueueName]jobs.AdvicePolicy
 	advice      adviceState
 	// now is the latest time that a call has passed.
@@ -228,25 +227,25 @@
 
 // reservation returns the resources that a task reserves on its worker. A
 // best-effort task reserves no processors.
-func reservation(s *jobs.Step) jobs.Resources {
-	n := s.Resources
-	if s.BestEffort {
-		n.MilliCores = 0
+func reservation(step *jobs.Step) jobs.Resources {
+	resources := step.Resources
+	if step.BestEffort {
+		resources.MilliCores = 0
 	}
-	return n
+	return resources
 }
 
 // apply applies the operation to the leader's copy and adds it to the plan.
-func (s *Scheduler[P, H]) apply(o jobs.Op, now clock.Millis) {
-	s.State.Apply([]jobs.Op{o}, max(now, s.State.Time))
-	s.plan.Ops = append(s.plan.Ops, o)
+func (s *Scheduler[P, H]) apply(op jobs.Op, now clock.Millis) {
+	s.State.Apply([]jobs.Op{op}, max(now, s.State.Time))
+	s.plan.Ops = append(s.plan.Ops, op)
 }
 
 // PendingOps returns the number of operations since the last plan.
 func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
 
-// readConfig rebuilds poolByQueue and adviceRules when a new configuration
-// is in force.
+// readConfig rebuilds poolByQueue and adviceRules when a new configuration is
+// in force.
 func (s *Scheduler[P, H]) readConfig() {
 	c := &s.State.Config
 	if s.poolByQueue != nil && c.Version == s.configVersion {
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -30,46 +30,46 @@
 		n /= 20
 	}
 	for seed := range uint64(n) {
-		w := newSimulation(seed)
+		sim := newSimulation(seed)
 		for range faultySteps {
-			w.step()
+			sim.step()
 		}
-		w.stopFaults()
-		for i := 0; i < faultFreeSteps && !w.allEnded(); i++ {
-			w.step()
+		sim.stopFaults()
+		for i := 0; i < faultFreeSteps && !sim.allEnded(); i++ {
+			sim.step()
 		}
-		if w.err == nil && !w.allEnded() {
-			w.failf("a job has not ended")
+		if sim.err == nil && !sim.allEnded() {
+			sim.failf("a job has not ended")
 		}
-		assert.NilError(t, w.err, "seed %d", seed)
+		assert.NilError(t, sim.err, "seed %d", seed)
 	}
 }
 
 // stopFaults turns faults off, replaces faulty and draining workers, and
 // cancels long-running jobs.
-func (w *simulation) stopFaults() {
-	w.faultsOff = true
-	for n, x := range w.workers {
+func (sim *simulation) stopFaults() {
+	sim.faultsOff = true
+	for n, x := range sim.workers {
 		if x.failing || x.stuck || x.draining {
 			x.down = true
-			w.workers[n] = w.newWorker(n)
+			sim.workers[n] = sim.newWorker(n)
 		}
 	}
-	for id, r := range w.committed.Jobs {
+	for id, r := range sim.committed.Jobs {
 		if r.Steps[0].LongRunning {
-			w.leader.scheduler.Cancel(id, w.now)
+			sim.leader.scheduler.Cancel(id, sim.now)
 		}
 	}
 }
 
 // allEnded reports whether every job has a final status and nothing runs.
-func (w *simulation) allEnded() bool {
-	for _, r := range w.committed.Jobs {
+func (sim *simulation) allEnded() bool {
+	for _, r := range sim.committed.Jobs {
 		if !r.Status.Final() {
 			return false
 		}
 	}
-	for _, x := range w.workers {
+	for _, x := range sim.workers {
 		if len(x.runs) > 0 {
 			return false
 		}
@@ -85,27 +85,27 @@
 	seq int64
 }
 
-func newFixture(set Settings) *fixture {
+func newFixture(settings Settings) *fixture {
 	state := jobs.New()
 	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p"}, {Name: "other"}, {Name: "off", Standby: true}},
 		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500}},
 	}}}, 1000)
-	return &fixture{testScheduler: New(set, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000), now: 1000}
+	return &fixture{testScheduler: New(settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000), now: 1000}
 }
 
 // heartbeat sends a heartbeat of a worker with 16 processors that runs the
 // given tasks.
-func (r *fixture) heartbeat(id string, incarnation jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
-	r.seq++
-	r.Heartbeat(Heartbeat{
+func (f *fixture) heartbeat(id string, incarnation jobs.Incarnation, running []RunStatus, ends ...RunEnd) {
+	f.seq++
+	f.Heartbeat(Heartbeat{
 		Worker: jobs.WorkerID(id), Incarnation: incarnation, Machine: jobs.MachineID("m-" + id), Pool: "p", Labels: []string{"a", "r1-1"},
-		Seq: r.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: r.now,
-	}, r.now)
+		Seq: f.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}, Running: running, Ends: ends, ReceivedAt: f.now,
+	}, f.now)
 }
 
-func (r *fixture) submit(id string, steps ...jobs.Step) {
-	r.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, r.now)
+func (f *fixture) submit(id string, steps ...jobs.Step) {
+	f.Submit(jobs.Job{ID: jobs.ID(id), Queue: "q", Pool: "p", MaxAttempts: 2, Target: 3000, StretchPermille: 1500, Steps: steps}, f.now)
 }
 
 // ordersFor returns the orders in a plan for one worker.
@@ -133,14 +133,14 @@
 // TestLostStartIsRepeated guards against a task that waits forever because the
 // reply with its start order was lost.
 func TestLostStartIsRepeated(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("a", smallStep)
-	r.heartbeat("w1", 1, nil)
-	first := ordersFor(r.Pass(r.now), "w1")
+	f := newFixture(Defaults())
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	first := ordersFor(f.Pass(f.now), "w1")
 	assert.Equal(t, len(first.Starts), 1)
-	r.now += 100
-	r.heartbeat("w1", 1, nil)
-	again := r.Pass(r.now)
+	f.now += 100
+	f.heartbeat("w1", 1, nil)
+	again := f.Pass(f.now)
 	assert.DeepEqual(t, ordersFor(again, "w1").Starts, first.Starts)
 	assert.Equal(t, len(again.Ops), 0)
 }
@@ -148,13 +148,13 @@
 // TestNewIncarnationFreesTasks guards against tasks that wait for the lease of
 // a worker that has restarted.
 func TestNewIncarnationFreesTasks(t *testing.T) {
-	r := newFixture(Defaults())
-	r.submit("a", smallStep)
-	r.heartbeat("w1", 1, nil)
-	r.Pass(r.now)
-	r.now += 100
-	r.heartbeat("w1", 2, nil)
-	o := ordersFor(r.Pass(r.now), "w1")
+	f := newFixture(Defaults())
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.now += 100
+	f.heartbeat("w1", 2, nil)
+	o := ordersFor(f.Pass(f.now), "w1")
 	assert.Equal(t, len(o.Starts), 1)
 	assert.Equal(t, o.Starts[0].Run, 2)
 }
@@ -162,44 +162,44 @@
 // TestEarlierIncarnationIsRejected guards against assigning work to a crashed
 // worker because of a late heartbeat of its earlier incarnation.
 func TestEarlierIncarnationIsRejected(t *testing.T) {
-	r := newFixture(Defaults())
-	r.heartbeat("w1", 2, nil)
-	r.Pass(r.now)
-	r.submit("a", smallStep)
-	r.seq++
-	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
-	r.RemoveWorker("w1", 0, r.now)
-	assert.Assert(t, !r.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, r.now))
+	f := newFixture(Defaults())
+	f.heartbeat("w1", 2, nil)
+	f.Pass(f.now)
+	f.submit("a", smallStep)
+	f.seq++
+	assert.Assert(t, !f.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: 99, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, f.now))
+	f.RemoveWorker("w1", 0, f.now)
+	assert.Assert(t, !f.Heartbeat(Heartbeat{Worker: "w1", Incarnation: 2, Machine: "m-w1", Pool: "p", Seq: 100, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}}, f.now))
 }
 
 // TestFailingJobQuarantinesNoWorker guards against one job that can never
 // succeed quarantining all workers of its pool: its failures count once against
 // each worker.
 func TestFailingJobQuarantinesNoWorker(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	failing := smallStep
 	failing.TaskCount = 8
-	r.submit("bad", failing)
-	r.heartbeat("w1", 1, nil)
-	o := ordersFor(r.Pass(r.now), "w1")
+	f.submit("bad", failing)
+	f.heartbeat("w1", 1, nil)
+	o := ordersFor(f.Pass(f.now), "w1")
 	assert.Equal(t, len(o.Starts), 8)
-	r.now += 400
-	r.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
-	r.Pass(r.now)
-	r.submit("good", smallStep)
-	r.now += 100
-	r.heartbeat("w1", 1, nil)
+	f.now += 400
+	f.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
+	f.Pass(f.now)
+	f.submit("good", smallStep)
+	f.now += 100
+	f.heartbeat("w1", 1, nil)
 	var started []jobs.ID
-	for _, s := range ordersFor(r.Pass(r.now), "w1").Starts {
+	for _, s := range ordersFor(f.Pass(f.now), "w1").Starts {
 		started = append(started, s.Task.Job)
 	}
 	assert.DeepEqual(t, started, []jobs.ID{"good"})
 }
 
-func endsFor(o Orders, how jobs.Result) []RunEnd {
+func endsFor(o Orders, result jobs.Result) []RunEnd {
 	var out []RunEnd
 	for n, s := range o.Starts {
-		out = append(out, RunEnd{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: how})
+		out = append(out, RunEnd{Number: int64(n + 1), Task: s.Task, Run: s.Run, Result: result})
 	}
 	return out
 }
@@ -207,75 +207,75 @@
 // TestBrokenWorkerIsQuarantined guards against a worker on which every task
 // fails and that uses up the attempts of job after job.
 func TestBrokenWorkerIsQuarantined(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	for _, id := range []string{"a", "b", "c"} {
-		r.submit(id, smallStep)
+		f.submit(id, smallStep)
 	}
-	r.heartbeat("w1", 1, nil)
-	o := ordersFor(r.Pass(r.now), "w1")
+	f.heartbeat("w1", 1, nil)
+	o := ordersFor(f.Pass(f.now), "w1")
 	assert.Equal(t, len(o.Starts), 3)
-	r.now += 400
-	r.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
-	r.Pass(r.now)
-	r.submit("d", smallStep)
-	r.now += 800
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 0)
-	r.heartbeat("w2", 1, nil)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w2").Starts), 4)
+	f.now += 400
+	f.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
+	f.Pass(f.now)
+	f.submit("d", smallStep)
+	f.now += 800
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 0)
+	f.heartbeat("w2", 1, nil)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w2").Starts), 4)
 }
 
 // TestWaveKeepsAvailability guards against a wave that ends two tasks of a
 // long-running step at the same time although only one may be unavailable:
 // orders of one pass must count before the platform has answered.
 func TestWaveKeepsAvailability(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	step := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
-	r.submit("serve", step)
-	r.heartbeat("w1", 1, nil)
-	r.heartbeat("w2", 1, nil)
-	p := r.Pass(r.now)
-	r.now += r.settings.TakeoverDelayMillis + 100
+	f.submit("serve", step)
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
 	for _, id := range []string{"w1", "w2"} {
 		s := ordersFor(p, id).Starts[0]
-		r.heartbeat(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
+		f.heartbeat(id, 1, []RunStatus{{Task: s.Task, Run: s.Run, Percent: 100}})
 	}
-	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, r.now)
-	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMaintain)), 1)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, f.now)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 1)
 }
 
 // TestWaveIncludesMachinesWithoutWorker guards against a wave that waits
 // forever for the return of machines without a worker.
 func TestWaveIncludesMachinesWithoutWorker(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, r.now)
-	first := actionsOf(r.Pass(r.now), ActionMaintain)
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m1", "m2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	first := actionsOf(f.Pass(f.now), ActionMaintain)
 	assert.Equal(t, len(first), 1)
-	r.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, r.now)
-	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMaintain)), 0)
-	r.now += 3 * r.settings.MaintenanceMillis
-	second := actionsOf(r.Pass(r.now), ActionMaintain)
+	f.HandleOutcome(first[0], Outcome{Answer: AnswerDone}, f.now)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+	f.now += 3 * f.settings.MaintenanceMillis
+	second := actionsOf(f.Pass(f.now), ActionMaintain)
 	assert.Equal(t, len(second), 1)
-	r.HandleOutcome(second[0], Outcome{Answer: AnswerDone}, r.now)
-	assert.Assert(t, r.State.Waves[1].Completed())
+	f.HandleOutcome(second[0], Outcome{Answer: AnswerDone}, f.now)
+	assert.Assert(t, f.State.Waves[1].Completed())
 }
 
 // TestNewLeaderRespectsMaxDown guards against more than MaxDown machines being
 // down. An earlier leader had ordered more, because some orders were refused,
 // and its successor repeated all of them at once.
 func TestNewLeaderRespectsMaxDown(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
 	machines := []jobs.MachineID{"m1", "m2", "m3", "m4", "m5"}
-	r.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, r.now)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: machines, MaxDown: 2, Deadline: 5000}, f.now)
 	for range 5 {
-		for _, a := range actionsOf(r.Pass(r.now), ActionMaintain) {
-			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
+		for _, a := range actionsOf(f.Pass(f.now), ActionMaintain) {
+			f.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, f.now)
 		}
-		r.now += maintenancePeriodMillis
+		f.now += maintenancePeriodMillis
 	}
-	next := &fixture{testScheduler: New(r.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, r.State.Clone(), r.now), now: r.now}
+	next := &fixture{testScheduler: New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now), now: f.now}
 	assert.Assert(t, len(next.State.Waves[1].Ordered) > 2)
 	down := map[jobs.MachineID]clock.Millis{}
 	for range 400 {
@@ -298,14 +298,14 @@
 // TestWaveDropsMissingMachines guards against a wave that never completes
 // because the platform refuses orders for a machine that no longer exists.
 func TestWaveDropsMissingMachines(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, r.now)
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-gone"}, MaxDown: 1, Deadline: 60_000}, f.now)
 	lists := 0
 	for range 40 {
-		p := r.Pass(r.now)
+		p := f.Pass(f.now)
 		for _, a := range actionsOf(p, ActionMaintain) {
-			r.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, r.now)
+			f.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, f.now)
 		}
 		for _, a := range actionsOf(p, ActionListMachines) {
 			lists++
@@ -314,55 +314,55 @@
 			if lists == 1 {
 				machines = append(machines, Machine{ID: "m-gone", Pool: "p"})
 			}
-			r.HandleOutcome(a, Outcome{Machines: machines}, r.now)
+			f.HandleOutcome(a, Outcome{Machines: machines}, f.now)
 		}
-		r.now += 200
+		f.now += 200
 	}
 	assert.Equal(t, lists, 2)
-	assert.Assert(t, r.State.Waves[1].Completed())
+	assert.Assert(t, f.State.Waves[1].Completed())
 }
 
 // TestRepeatedMaintenanceKeepsNewWorker guards against dropping a worker that
 // returned before the platform answered a repeated order.
 func TestRepeatedMaintenanceKeepsNewWorker(t *testing.T) {
-	r := newFixture(Defaults())
-	r.heartbeat("w1", 1, nil)
-	r.Pass(r.now)
-	r.now += r.settings.TakeoverDelayMillis
-	r.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, r.now)
-	order := actionsOf(r.Pass(r.now), ActionMaintain)[0]
-	r.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, r.now)
-	r.now += 2500
-	r.heartbeat("w1", 2, nil)
-	repeated := actionsOf(r.Pass(r.now), ActionMaintain)
+	f := newFixture(Defaults())
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	order := actionsOf(f.Pass(f.now), ActionMaintain)[0]
+	f.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, f.now)
+	f.now += 2500
+	f.heartbeat("w1", 2, nil)
+	repeated := actionsOf(f.Pass(f.now), ActionMaintain)
 	assert.Equal(t, len(repeated), 1)
-	r.HandleOutcome(repeated[0], Outcome{Answer: AnswerDone}, r.now)
-	r.now += 100
-	r.submit("a", smallStep)
-	r.heartbeat("w1", 2, nil)
-	r.Pass(r.now)
-	assert.Assert(t, r.workers["w1"] != nil)
+	f.HandleOutcome(repeated[0], Outcome{Answer: AnswerDone}, f.now)
+	f.now += 100
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 2, nil)
+	f.Pass(f.now)
+	assert.Assert(t, f.workers["w1"] != nil)
 }
 
 // TestBacklogBringsStandbyMachines submits more work than the pool's machines
 // can start in time, which requires machines of the standby pool.
 func TestBacklogBringsStandbyMachines(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.heartbeat("w1", 1, nil)
-	p := r.Pass(r.now)
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.heartbeat("w1", 1, nil)
+	p := f.Pass(f.now)
 	assert.Equal(t, len(actionsOf(p, ActionListMachines)), 1)
-	r.HandleOutcome(actionsOf(p, ActionListMachines)[0], Outcome{Machines: []Machine{
+	f.HandleOutcome(actionsOf(p, ActionListMachines)[0], Outcome{Machines: []Machine{
 		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
 		{ID: "s2", Pool: "off", Up: true},
 		{ID: "s3", Pool: "off"},
 		{ID: "m-w1", Pool: "p", Up: true},
-	}}, r.now)
+	}}, f.now)
 	many := smallStep
 	many.TaskCount, many.Estimate = 100, 1000
-	r.submit("surge", many)
-	r.now += rebalancePeriodMillis
-	moves := actionsOf(r.Pass(r.now), ActionMove)
+	f.submit("surge", many)
+	f.now += rebalancePeriodMillis
+	moves := actionsOf(f.Pass(f.now), ActionMove)
 	assert.DeepEqual(t, moves, []Action{{Kind: ActionMove, Machine: "s1", Pool: "p"}, {Kind: ActionMove, Machine: "s2", Pool: "p"}})
 }
 
@@ -370,36 +370,36 @@
 // forever because their step allows one task per worker and the pool has fewer
 // workers than tasks.
 func TestLongRunningTasksGetMachines(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
-	r.fleet.listedAt, r.fleet.listRequestedAt = r.now, r.now
-	r.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Starts), 1)
-	r.now += 2 * unplacedWaitMillis
-	r.heartbeat("w1", 1, nil)
-	assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMove)), 2)
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+	f.fleet.listedAt, f.fleet.listRequestedAt = f.now, f.now
+	f.fleet.standby = map[jobs.MachineID]jobs.PoolName{"s1": "off", "s2": "off", "s3": "off"}
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 1)
+	f.now += 2 * unplacedWaitMillis
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMove)), 2)
 }
 
 // TestIdleMachinesMoveToStandby guards against paying for idle machines beyond
 // the reserve.
 func TestIdleMachinesMoveToStandby(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.fleet.listedAt, r.fleet.listRequestedAt, r.fleet.hadFiniteWork = r.now, r.now, true
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.fleet.listedAt, f.fleet.listRequestedAt, f.fleet.hadFiniteWork = f.now, f.now, true
 	ids := []string{"w1", "w2", "w3", "w4"}
 	for range 4 {
 		for _, id := range ids {
-			r.heartbeat(id, 1, nil)
+			f.heartbeat(id, 1, nil)
 		}
-		p := r.Pass(r.now)
+		p := f.Pass(f.now)
 		if moves := actionsOf(p, ActionMove); len(moves) > 0 {
-			assert.Equal(t, len(moves), 4-r.settings.ReserveMachines)
+			assert.Equal(t, len(moves), 4-f.settings.ReserveMachines)
 			assert.Equal(t, moves[0].Pool, jobs.PoolName("off"))
 			return
 		}
-		r.now += clock.Second
+		f.now += clock.Second
 	}
 	t.Fatal("no machine was moved")
 }
@@ -407,51 +407,51 @@
 // TestUnansweredMoveReleasesWorker guards against a worker that never gets a
 // task again because the platform did not answer the order to move its machine.
 func TestUnansweredMoveReleasesWorker(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.fleet.listedAt, r.fleet.listRequestedAt, r.fleet.hadFiniteWork = r.now, r.now, true
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.fleet.listedAt, f.fleet.listRequestedAt, f.fleet.hadFiniteWork = f.now, f.now, true
 	for range 12 {
 		for _, id := range []string{"w1", "w2", "w3"} {
-			r.heartbeat(id, 1, nil)
+			f.heartbeat(id, 1, nil)
 		}
-		for _, a := range actionsOf(r.Pass(r.now), ActionMove) {
-			r.HandleOutcome(a, Outcome{Answer: AnswerUnknown}, r.now)
+		for _, a := range actionsOf(f.Pass(f.now), ActionMove) {
+			f.HandleOutcome(a, Outcome{Answer: AnswerUnknown}, f.now)
 		}
-		r.now += clock.Second
+		f.now += clock.Second
 	}
-	leaving := 0
-	for _, w := range r.workers {
+	goingDown := 0
+	for _, w := range f.workers {
 		if w.goingDown {
-			leaving++
+			goingDown++
 		}
 	}
-	assert.Assert(t, leaving <= 1)
-	r.now += 2 * moveTimeoutMillis
+	assert.Assert(t, goingDown <= 1)
+	f.now += 2 * moveTimeoutMillis
 	wide := smallStep
 	wide.TaskCount, wide.MaxPerWorker = 3, 1
-	r.submit("a", wide)
+	f.submit("a", wide)
 	for range 2 {
 		for _, id := range []string{"w1", "w2", "w3"} {
-			r.heartbeat(id, 1, nil)
+			f.heartbeat(id, 1, nil)
 		}
-		r.Pass(r.now)
-		r.now += rebalancePeriodMillis
+		f.Pass(f.now)
+		f.now += rebalancePeriodMillis
 	}
-	assert.Equal(t, r.State.Jobs["a"].Occurrences[0].Steps[0].Tasks[2].Phase, jobs.PhaseAssigned)
+	assert.Equal(t, f.State.Jobs["a"].Occurrences[0].Steps[0].Tasks[2].Phase, jobs.PhaseAssigned)
 }
 
 // TestIdleFleetStaysUpBeforeFirstLoad guards against a fleet that is powered
 // off between its start and its first job.
 func TestIdleFleetStaysUpBeforeFirstLoad(t *testing.T) {
-	r := newFixture(Defaults())
-	r.now += r.settings.TakeoverDelayMillis
-	r.fleet.listedAt, r.fleet.listRequestedAt = r.now, r.now
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.fleet.listedAt, f.fleet.listRequestedAt = f.now, f.now
 	for range 10 {
 		for _, id := range []string{"w1", "w2", "w3", "w4"} {
-			r.heartbeat(id, 1, nil)
+			f.heartbeat(id, 1, nil)
 		}
-		assert.Equal(t, len(actionsOf(r.Pass(r.now), ActionMove)), 0)
-		r.now += clock.Second
+		assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMove)), 0)
+		f.now += clock.Second
 	}
 }
 
@@ -459,14 +459,14 @@
 // just too late: work that will miss its deadline must wait for work that can
 // still meet it.
 func TestLateWorkGoesLast(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	wide := smallStep
 	wide.TaskCount, wide.Resources.MilliCores = 4, 4000
-	r.submit("old", wide)
-	r.now += 3600
-	r.submit("new", wide)
-	r.heartbeat("w1", 1, nil)
-	starts := ordersFor(r.Pass(r.now), "w1").Starts
+	f.submit("old", wide)
+	f.now += 3600
+	f.submit("new", wide)
+	f.heartbeat("w1", 1, nil)
+	starts := ordersFor(f.Pass(f.now), "w1").Starts
 	assert.Equal(t, len(starts), 4)
 	for _, s := range starts {
 		assert.Equal(t, s.Task.Job, jobs.ID("new"))
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -61,15 +61,15 @@
 }
 
 // deadline returns the latest end at which the job is on time.
-func (a simJob) deadline() clock.Millis {
-	return a.arrivesAt + a.job.Target + a.job.Steps[0].Estimate*clock.Millis(a.job.StretchPermille)/1000
+func (j simJob) deadline() clock.Millis {
+	return j.arrivesAt + j.job.Target + j.job.Steps[0].Estimate*clock.Millis(j.job.StretchPermille)/1000
 }
 
 // work returns the processor time of all tasks of the job, in
 // core-milliseconds.
-func (a simJob) work() clock.Millis {
-	s := a.job.Steps[0]
-	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * a.duration / 1000
+func (j simJob) work() clock.Millis {
+	s := j.job.Steps[0]
+	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * j.duration / 1000
 }
 
 // upperBound returns a number of jobs on time that no schedule can exceed. In
@@ -121,22 +121,22 @@
 // onTime simulates a load with a rank policy and returns the number of jobs
 // that end on time.
 func onTime[P RankPolicy](policy P, all []simJob) int {
-	set := Defaults()
-	set.BacklogTargetMillis = 0
+	settings := Defaults()
+	settings.BacklogTargetMillis = 0
 	const start = 100_000
-	base := newFixture(set)
-	s := New(set, policy, place.PeerComparison{MinScore: 3}, base.State, start)
+	base := newFixture(settings)
+	s := New(settings, policy, place.PeerComparison{MinScore: 3}, base.State, start)
 	jobByID := map[jobs.ID]simJob{}
 	var workers []*loadWorker
 	for n := range loadWorkers {
 		workers = append(workers, &loadWorker{id: jobs.WorkerID(fmt.Sprint("w", n)), runs: map[jobs.TaskID]loadRun{}})
 	}
-	left := all
+	upcoming := all
 	for now := clock.Millis(0); now < loadMillis+loadDrainMillis; now += loadStepMillis {
-		for len(left) > 0 && left[0].arrivesAt <= now {
-			jobByID[left[0].job.ID] = left[0]
-			s.Submit(left[0].job, start+now)
-			left = left[1:]
+		for len(upcoming) > 0 && upcoming[0].arrivesAt <= now {
+			jobByID[upcoming[0].job.ID] = upcoming[0]
+			s.Submit(upcoming[0].job, start+now)
+			upcoming = upcoming[1:]
 		}
 		for _, w := range workers {
 			w.endFinishedRuns(now)
@@ -204,7 +204,7 @@
 	for seed := range uint64(3) {
 		all := newLoad(seed)
 		bound, best, baseline := upperBound(all), onTime(EarliestDeadline{}, all), onTime(FIFO{}, all)
-		t.Logf("seed %d: %d jobs, bound %d, by objective %d, by arrival %d", seed, len(all), bound, best, baseline)
+		t.Logf("seed %d: %d jobs, upper bound %d, earliest deadline %d, FIFO %d", seed, len(all), bound, best, baseline)
 		assert.Assert(t, best <= bound && baseline <= bound)
 		assert.Assert(t, best > baseline)
 	}
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -20,17 +20,17 @@
 // best-effort task.
 func newThrottleFixture(t *testing.T) (*fixture, []RunStatus) {
 	t.Helper()
-	r := newFixture(Defaults())
-	r.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: latencyTarget})
-	r.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
-	r.heartbeat("w1", 1, nil)
-	running := runsFor(ordersFor(r.Pass(r.now), "w1"))
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, LongRunning: true, LatencyTarget: latencyTarget})
+	f.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 8000, MemoryMiB: 100}, LongRunning: true, BestEffort: true})
+	f.heartbeat("w1", 1, nil)
+	running := runsFor(ordersFor(f.Pass(f.now), "w1"))
 	assert.Equal(t, len(running), 2)
 	for i := range running {
 		running[i].Percent = 100
 	}
-	r.now += 100
-	return r, running
+	f.now += 100
+	return f, running
 }
 
 // TestBestEffortIsThrottled simulates a serving load that rises and falls next
@@ -38,37 +38,37 @@
 // latency that exceeds its target long enough for users to notice, and against
 // a best-effort task that is slow for longer than the load lasts.
 func TestBestEffortIsThrottled(t *testing.T) {
-	r, running := newThrottleFixture(t)
-	startedAt := r.now
+	f, running := newThrottleFixture(t)
+	startedAt := f.now
 	speed, workMillis, overMillis := 100, clock.Millis(0), clock.Millis(0)
 	const high, end = 10 * clock.Second, 40 * clock.Second
-	answers := 0
-	for r.now < startedAt+end {
+	replies := 0
+	for f.now < startedAt+end {
 		base, share := 30, 30
-		if at := r.now - startedAt; at >= high && at < 2*high {
+		if at := f.now - startedAt; at >= high && at < 2*high {
 			base, share = 70, 150
 		}
 		tail := base + share*speed/100
 		for i := range running {
 			running[i].Load = tail
 		}
-		r.heartbeat("w1", 1, running)
-		p := r.Pass(r.now)
-		before := r.now
+		f.heartbeat("w1", 1, running)
+		p := f.Pass(f.now)
+		before := f.now
 		for len(p.Orders) == 0 {
-			r.now = max(p.NextPass, r.now+1)
-			p = r.Pass(r.now)
+			f.now = max(p.NextPass, f.now+1)
+			p = f.Pass(f.now)
 		}
-		answers++
-		if answers%3 != 0 {
+		replies++
+		if replies%3 != 0 {
 			for _, x := range p.Orders[0].Throttles {
 				assert.Equal(t, x.Task.Job, jobs.ID("fill"))
 				speed = x.Percent
 			}
 		}
-		r.now += p.Orders[0].RetryAfter
-		workMillis += (r.now - before) * clock.Millis(speed) / 100
-		if overMillis += r.now - before; clock.Millis(tail) <= latencyTarget {
+		f.now += p.Orders[0].RetryAfter
+		workMillis += (f.now - before) * clock.Millis(speed) / 100
+		if overMillis += f.now - before; clock.Millis(tail) <= latencyTarget {
 			overMillis = 0
 		}
 		assert.Assert(t, overMillis < maxHarmMillis, "the tail latency exceeds its target for %d ms", overMillis)
@@ -82,29 +82,29 @@
 // TestServingAloneIsNotThrottled guards against useless orders when a tail
 // latency exceeds its target without a best-effort task next to it.
 func TestServingAloneIsNotThrottled(t *testing.T) {
-	r, running := newThrottleFixture(t)
+	f, running := newThrottleFixture(t)
 	for i := range running {
 		running[i].Load = int(2 * latencyTarget)
 		if running[i].Task.Job == "fill" {
-			r.Cancel("fill", r.now)
+			f.Cancel("fill", f.now)
 		}
 	}
-	r.now += speedPeriodMillis
-	r.heartbeat("w1", 1, running)
-	assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Throttles), 0)
+	f.now += speedPeriodMillis
+	f.heartbeat("w1", 1, running)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Throttles), 0)
 }
 
 // TestNewLeaderRestoresSpeed guards against a best-effort task that stays slow
 // forever because the leader that throttled it is gone.
 func TestNewLeaderRestoresSpeed(t *testing.T) {
-	r, running := newThrottleFixture(t)
+	f, running := newThrottleFixture(t)
 	for i := range running {
 		running[i].Load = int(2 * latencyTarget)
 	}
-	r.now += speedPeriodMillis
-	r.heartbeat("w1", 1, running)
-	assert.Assert(t, ordersFor(r.Pass(r.now), "w1").Throttles[0].Percent < 100)
-	next := &fixture{testScheduler: New(r.settings, r.rankPolicy, r.healthPolicy, r.State.Clone(), r.now), now: r.now + 100, seq: r.seq}
+	f.now += speedPeriodMillis
+	f.heartbeat("w1", 1, running)
+	assert.Assert(t, ordersFor(f.Pass(f.now), "w1").Throttles[0].Percent < 100)
+	next := &fixture{testScheduler: New(f.settings, f.rankPolicy, f.healthPolicy, f.State.Clone(), f.now), now: f.now + 100, seq: f.seq}
 	for i := range running {
 		running[i].Load = int(latencyTarget) / 4
 	}
@@ -117,15 +117,15 @@
 // task over and over because it makes no progress while other tasks need the
 // processors.
 func TestSlowBestEffortTaskIsNotStopped(t *testing.T) {
-	r := newFixture(Defaults())
+	f := newFixture(Defaults())
 	fill := smallStep
 	fill.BestEffort = true
-	r.submit("fill", fill)
-	r.heartbeat("w1", 1, nil)
-	running := runsFor(ordersFor(r.Pass(r.now), "w1"))
+	f.submit("fill", fill)
+	f.heartbeat("w1", 1, nil)
+	running := runsFor(ordersFor(f.Pass(f.now), "w1"))
 	for range 10 {
-		r.now += clock.Second
-		r.heartbeat("w1", 1, running)
-		assert.Equal(t, len(ordersFor(r.Pass(r.now), "w1").Stops), 0)
+		f.now += clock.Second
+		f.heartbeat("w1", 1, running)
+		assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Stops), 0)
 	}
 }
