Name quantities of package sched with their unit and subject

have and want of a pool, whole and rack of a gang, worst and need named no subject or unit; they are machines, needed, inPool, inBestRack, worstPermille and reserved now. The doc of chooseGangWorkers says that a gang waits for one rack only if a rack is large enough, as the code does.

--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -164,7 +164,7 @@
 func (s *Scheduler[P, H]) waitReason(r *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
 	p := s.pool(s.poolOf(r))
 	g := &taskGroup{key: stepKey{r.ID, occurrence, step}, rec: r, step: &r.Steps[step]}
-	need := reservation(g.step)
+	reserved := reservation(g.step)
 	remaining := slices.Collect(s.liveWorkers(p, now))
 	for _, check := range []struct {
 		reason WaitReason
@@ -172,12 +172,12 @@
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
 		{WaitLabel, func(w *worker) bool { return w.hasLabel(g) }},
-		{WaitSize, func(w *worker) bool { return need.Fits(w.capacity) }},
+		{WaitSize, func(w *worker) bool { return reserved.Fits(w.capacity) }},
 		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.cordoned && !w.goingDown && !w.vacating }},
 		{WaitQuarantine, func(w *worker) bool { return w.quarantinedUntil <= now }},
 		{WaitAdvice, func(w *worker) bool { return s.adviceAllows(w, g, now) }},
 		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
-		{WaitCapacity, func(w *worker) bool { return need.Fits(w.capacity.Minus(w.used)) }},
+		{WaitCapacity, func(w *worker) bool { return reserved.Fits(w.capacity.Minus(w.used)) }},
 	} {
 		remaining = slices.DeleteFunc(remaining, func(w *worker) bool { return !check.meets(w) })
 		if len(remaining) == 0 {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -34,8 +34,8 @@
 
 // chooseGangWorkers returns an available worker for each task of a gang, or nil
 // if not all tasks can be placed. A gang with SameRack works more slowly on
-// several racks, so it waits for one rack for as long as one of its tasks
-// takes.
+// several racks, so if a rack is large enough it waits for that rack, for as
+// long as one of its tasks takes.
 func (s *Scheduler[P, H]) chooseGangWorkers(p *pool, g *taskGroup, now clock.Millis) []*worker {
 	if !g.step.SameRack {
 		return s.chooseFromRack(p, g, "", now)
@@ -45,12 +45,13 @@
 			return workers
 		}
 	}
-	if _, rack := s.gangCapacity(p, g, now); rack >= g.step.TaskCount && now-g.waitingSince < g.step.Estimate {
+	if _, inBestRack := s.gangCapacity(p, g, now); inBestRack >= g.step.TaskCount && now-g.waitingSince < g.step.Estimate {
 		return nil
 	}
 	return s.chooseFromRack(p, g, "", now)
 }
 
+// racks returns the racks of the workers in sorted order.
 func racks(workers map[jobs.WorkerID]*worker) []string {
 	seen := map[string]bool{}
 	for _, w := range workers {
@@ -100,10 +101,10 @@
 // fitCount returns how many tasks of the group fit into the free resources of
 // the worker.
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
-	need, n := reservation(g.step), 0
+	reserved, n := reservation(g.step), 0
 	limit := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
-	for n < limit && need.Fits(free) {
-		free = free.Minus(need)
+	for n < limit && reserved.Fits(free) {
+		free = free.Minus(reserved)
 		n++
 	}
 	return n
@@ -112,18 +113,18 @@
 // gangCapacity returns the number of tasks of the group that the pool's
 // workers, and the workers of its best rack, can run once all tasks except
 // long-running ones have ended.
-func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (whole, rack int) {
+func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (inPool, inBestRack int) {
 	byRack := map[string]int{}
 	for w := range s.liveWorkers(p, now) {
 		if !s.acceptsGroup(w, g, now) || !s.adviceAllows(w, g, now) {
 			continue
 		}
 		n := w.fitCount(w.capacityForFinite(), g)
-		whole += n
+		inPool += n
 		byRack[w.rack] += n
-		rack = max(rack, byRack[w.rack])
+		inBestRack = max(inBestRack, byRack[w.rack])
 	}
-	return whole, rack
+	return inPool, inBestRack
 }
 
 // capacityForFinite returns the part of the worker's capacity that its
@@ -146,8 +147,8 @@
 	if g.rank.Class == classLate || now-g.waitingSince < gangWaitMillis {
 		return false
 	}
-	whole, _ := s.gangCapacity(p, g, now)
-	return whole >= g.step.TaskCount
+	inPool, _ := s.gangCapacity(p, g, now)
+	return inPool >= g.step.TaskCount
 }
 
 // stopGang stops the other tasks of a gang after a task has ended before the
@@ -169,8 +170,8 @@
 // stopBrokenGangs stops the remaining tasks of gangs that lost a task in an
 // earlier term.
 func (s *Scheduler[P, H]) stopBrokenGangs(r *jobs.Record) {
-	for id, t := range r.Tasks() {
-		if t.Phase == jobs.PhaseWaiting && t.Run > 0 {
+	for id, state := range r.Tasks() {
+		if state.Phase == jobs.PhaseWaiting && state.Run > 0 {
 			s.stopGang(r, id)
 		}
 	}
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -120,7 +120,7 @@
 	}
 	s.removeRun(w, r)
 	rec := r.rec
-	before := rec.Status
+	previousStatus := rec.Status
 	needed := r.needed()
 	s.apply(jobs.Op{Kind: jobs.OpEnd, Task: r.task, Run: r.number, Worker: w.id, Result: result, Checkpoint: checkpoint}, now)
 	if result != jobs.ResultDone {
@@ -142,7 +142,7 @@
 	}
 	switch {
 	case rec.Status.Final():
-		if !before.Final() {
+		if !previousStatus.Final() {
 			s.noteJobEnd(rec, now)
 			s.stopJobRuns(rec)
 		}
@@ -348,7 +348,7 @@
 		return now
 	}
 	hold := s.settings.MaxHoldMillis
-	if worst, bestEffort := w.tailLatency(); bestEffort > 0 && worst > fastTailPermille {
+	if worstPermille, bestEffort := w.tailLatency(); bestEffort > 0 && worstPermille > fastTailPermille {
 		hold = min(hold, speedPeriodMillis)
 	}
 	if end, ok := w.predictNextEnd(now); ok {
@@ -367,14 +367,14 @@
 		if r.step.LongRunning {
 			continue
 		}
-		e := now
+		end := now
 		if r.percent > 0 && r.percent < 100 {
-			e = now + (now-r.assignedAt)*clock.Millis(100-r.percent)/clock.Millis(r.percent)
-		} else if left := r.assignedAt + r.step.Estimate*3/4 - now; left > 0 {
-			e = now + left
+			end = now + (now-r.assignedAt)*clock.Millis(100-r.percent)/clock.Millis(r.percent)
+		} else if remaining := r.assignedAt + r.step.Estimate*3/4 - now; remaining > 0 {
+			end = now + remaining
 		}
-		if !ok || e < at {
-			at, ok = e, true
+		if !ok || end < at {
+			at, ok = end, true
 		}
 	}
 	return at, ok
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -78,7 +78,7 @@
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
 			continue
 		}
-		need := reservation(g.step)
+		reserved := reservation(g.step)
 		if g.step.Gang {
 			if s.startGang(p, g, now) {
 				continue
@@ -89,7 +89,7 @@
 			}
 			continue
 		}
-		if slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.Fits(need) }) {
+		if slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.Fits(reserved) }) {
 			continue
 		}
 		for len(g.waiting) > 0 {
@@ -98,7 +98,7 @@
 			w, hasCapacity := s.chooseWorker(p, g, t, now)
 			if w == nil {
 				if !hasCapacity {
-					unplaceable = append(unplaceable, need)
+					unplaceable = append(unplaceable, reserved)
 				}
 				s.requestAdvice(p, g, now)
 				break
@@ -129,11 +129,11 @@
 // is none. hasCapacity reports whether any worker has enough free resources,
 // even if it was excluded for another reason.
 func (s *Scheduler[P, H]) chooseWorker(p *pool, g *taskGroup, t jobs.TaskID, now clock.Millis) (best *worker, hasCapacity bool) {
-	need := reservation(g.step)
+	reserved := reservation(g.step)
 	failed := s.lastFailedOn[t]
 	var bestScore score
 	for _, w := range p.available {
-		if !need.Fits(w.capacity.Minus(w.used)) {
+		if !reserved.Fits(w.capacity.Minus(w.used)) {
 			continue
 		}
 		hasCapacity = true
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -79,10 +79,11 @@
 // poolLoad is the load of one pool.
 type poolLoad struct {
 	name jobs.PoolName
-	// have counts the machines of the pool and those being moved to it. want is
-	// the number of machines that can start its waiting work in time.
-	have int
-	want int
+	// machines counts the usable machines of the pool and those being moved to
+	// it. needed is the number of machines that can start its waiting work in
+	// time.
+	machines int
+	needed   int
 	// idle lists the workers that run nothing, the longest idle first. busy
 	// lists the workers that run only tasks that end, those being vacated and
 	// then the least busy first.
@@ -114,7 +115,7 @@
 	s.noteLoads(loads, now)
 	missing := 0
 	for _, load := range loads {
-		for n := load.want - load.have; n > 0; n-- {
+		for n := load.needed - load.machines; n > 0; n-- {
 			if !s.bringMachine(load, loads, now) {
 				missing += n
 				break
@@ -154,7 +155,7 @@
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
-			load.name, load.have, load.want, len(load.idle), serving, s.pool(load.name).waitingWork()/1000))
+			load.name, load.machines, load.needed, len(load.idle), serving, s.pool(load.name).waitingWork()/1000))
 	}
 }
 
@@ -234,7 +235,7 @@
 			byPool[p.Name] = &poolLoad{name: p.Name}
 		}
 	}
-	busy := map[jobs.PoolName]clock.Millis{}
+	busyMilliCores := map[jobs.PoolName]clock.Millis{}
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		w := s.workers[id]
 		load := byPool[w.pool]
@@ -242,12 +243,12 @@
 			continue
 		}
 		s.fleet.machineSize.MilliCores = max(s.fleet.machineSize.MilliCores, w.capacity.MilliCores)
-		load.have++
+		load.machines++
 		if w.cordoned || w.quarantinedUntil > now {
-			load.have--
+			load.machines--
 			continue
 		}
-		busy[w.pool] += w.load(now, s.settings.BacklogTargetMillis)
+		busyMilliCores[w.pool] += w.load(now, s.settings.BacklogTargetMillis)
 		if len(w.runs)+len(w.unassigned) == 0 {
 			if w.idleSince == 0 {
 				w.idleSince = now
@@ -263,7 +264,7 @@
 	}
 	for _, move := range s.fleet.moves {
 		if load := byPool[move.to]; load != nil {
-			load.have++
+			load.machines++
 		}
 	}
 	if s.fleet.machineSize.MilliCores == 0 {
@@ -273,10 +274,10 @@
 	for name, load := range byPool {
 		p := s.pool(name)
 		p.updateArrivalRate()
-		need := int(busy[name] + p.waitingWork()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
-		load.want = (need + perMachine - 1) / perMachine
+		neededMilliCores := int(busyMilliCores[name] + p.waitingWork()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
+		load.needed = (neededMilliCores + perMachine - 1) / perMachine
 		if n := s.pool(name).unplacedMachines(now); n > 0 {
-			load.want = max(load.want, load.have+n)
+			load.needed = max(load.needed, load.machines+n)
 		}
 		slices.SortStableFunc(load.busy, func(x, y *worker) int {
 			return cmp.Or(-compareBool(x.vacating, y.vacating), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
@@ -284,7 +285,7 @@
 		slices.SortStableFunc(load.idle, func(x, y *worker) int { return cmp.Compare(x.idleSince, y.idleSince) })
 	}
 	return slices.SortedFunc(maps.Values(byPool), func(x, y *poolLoad) int {
-		return cmp.Or(cmp.Compare(y.want-y.have, x.want-x.have), cmp.Compare(x.name, y.name))
+		return cmp.Or(cmp.Compare(y.needed-y.machines, x.needed-x.machines), cmp.Compare(x.name, y.name))
 	})
 }
 
@@ -316,11 +317,11 @@
 // finiteWork returns the work of some tasks of a step, each of the given
 // duration, in milli-cores times milliseconds; 0 for long-running and
 // best-effort tasks.
-func finiteWork(step *jobs.Step, tasks int, each clock.Millis) clock.Millis {
+func finiteWork(step *jobs.Step, tasks int, duration clock.Millis) clock.Millis {
 	if step.LongRunning || step.BestEffort {
 		return 0
 	}
-	return clock.Millis(tasks*step.Resources.MilliCores) * each
+	return clock.Millis(tasks*step.Resources.MilliCores) * duration
 }
 
 // load returns the milli-cores that the worker's tasks need to finish within
@@ -357,13 +358,13 @@
 		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
 			continue
 		}
-		length := g.step.Estimate
+		duration := g.step.Estimate
 		if g.step.LongRunning {
 			// A long-running task never releases its resources, so its duration
 			// is nominal.
-			length = clock.Second
+			duration = clock.Second
 		}
-		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * length
+		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * duration
 	}
 	return sum
 }
@@ -381,7 +382,7 @@
 	}
 	for i := len(loads) - 1; i >= 0; i-- {
 		from := loads[i]
-		if from == target || from.have-from.want <= s.settings.ReserveMachines {
+		if from == target || from.machines-from.needed <= s.settings.ReserveMachines {
 			continue
 		}
 		for k, w := range from.idle {
@@ -389,7 +390,7 @@
 				continue
 			}
 			from.idle = slices.Delete(from.idle, k, k+1)
-			from.have--
+			from.machines--
 			w.goingDown = true
 			s.orderMove(w.machine, w.incarnation, target, now)
 			return true
@@ -405,7 +406,7 @@
 func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
 	for i := len(loads) - 1; i >= 0; i-- {
 		load := loads[i]
-		surplus := load.have - load.want - s.settings.ReserveMachines
+		surplus := load.machines - load.needed - s.settings.ReserveMachines
 		for _, w := range load.busy {
 			w.vacating = missing > 0 && surplus > 0
 			s.dirtyPools[s.pool(w.pool)] = true
@@ -422,10 +423,10 @@
 	target := &poolLoad{name: standby}
 	for _, load := range loads {
 		for _, w := range load.idle {
-			if w.goingDown || w.machine == "" || load.have-load.want <= s.settings.ReserveMachines || now-w.idleSince < s.settings.IdleMillis || s.fleet.notMovableUntil[w.machine] > now {
+			if w.goingDown || w.machine == "" || load.machines-load.needed <= s.settings.ReserveMachines || now-w.idleSince < s.settings.IdleMillis || s.fleet.notMovableUntil[w.machine] > now {
 				continue
 			}
-			load.have--
+			load.machines--
 			w.goingDown = true
 			s.orderMove(w.machine, w.incarnation, target, now)
 		}
@@ -446,7 +447,7 @@
 // orderMove orders the move of a machine. incarnation is that of its worker; 0
 // for none.
 func (s *Scheduler[P, H]) orderMove(m jobs.MachineID, incarnation jobs.Incarnation, to *poolLoad, now clock.Millis) {
-	to.have++
+	to.machines++
 	s.fleet.moves[m] = machineMove{to: to.name, incarnation: incarnation, orderedAt: now}
 	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
 }
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -190,20 +190,20 @@
 
 // restoreJob adds a job that was accepted before this term.
 func (s *Scheduler[P, H]) restoreJob(r *jobs.Record, now clock.Millis) {
-	for id, t := range r.Tasks() {
-		if t.Phase != jobs.PhaseAssigned {
+	for id, state := range r.Tasks() {
+		if state.Phase != jobs.PhaseAssigned {
 			continue
 		}
-		w := s.workers[t.Worker]
-		if w == nil || w.incarnation < t.Incarnation {
+		w := s.workers[state.Worker]
+		if w == nil || w.incarnation < state.Incarnation {
 			w = &worker{
-				id: t.Worker, incarnation: t.Incarnation, pool: r.Pool, runs: map[jobs.TaskID]*run{},
+				id: state.Worker, incarnation: state.Incarnation, pool: r.Pool, runs: map[jobs.TaskID]*run{},
 				leaseUntil: now + s.maxLease(), speed: unknownSpeed(),
 			}
-			s.workers[t.Worker] = w
+			s.workers[state.Worker] = w
 			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 		}
-		s.addRun(w, &run{task: id, number: t.Run, rec: r, step: &r.Steps[id.Step], assignedAt: now, progressedAt: now})
+		s.addRun(w, &run{task: id, number: state.Run, rec: r, step: &r.Steps[id.Step], assignedAt: now, progressedAt: now})
 	}
 	s.stopBrokenGangs(r)
 	s.queueJob(r, now)
@@ -294,8 +294,8 @@
 		reason += fmt.Sprintf(", %d ms late", lateness)
 	}
 	runs, failures := 0, 0
-	for id, t := range rec.Tasks() {
-		runs += t.Run
+	for id, state := range rec.Tasks() {
+		runs += state.Run
 		if id.Index == 0 {
 			failures += rec.Failures(id.Occurrence, id.Step)
 		}
@@ -321,8 +321,8 @@
 
 // stopJobRuns stops all runs of a job that has ended.
 func (s *Scheduler[P, H]) stopJobRuns(r *jobs.Record) {
-	for id, t := range r.Tasks() {
-		if w, x := s.assignedRun(id, t); x != nil {
+	for id, state := range r.Tasks() {
+		if w, x := s.assignedRun(id, state); x != nil {
 			s.stopRun(w, x, r.Status.String())
 		}
 	}
@@ -331,9 +331,9 @@
 // assignedRun returns the run of an assigned task and its worker. Both are nil
 // if the task is not assigned or its worker is unknown; the run is nil if the
 // worker no longer has it.
-func (s *Scheduler[P, H]) assignedRun(id jobs.TaskID, t *jobs.TaskState) (*worker, *run) {
-	w := s.workers[t.Worker]
-	if t.Phase != jobs.PhaseAssigned || w == nil {
+func (s *Scheduler[P, H]) assignedRun(id jobs.TaskID, state *jobs.TaskState) (*worker, *run) {
+	w := s.workers[state.Worker]
+	if state.Phase != jobs.PhaseAssigned || w == nil {
 		return nil, nil
 	}
 	return w, w.runs[id]
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -49,9 +49,9 @@
 // cancels long-running jobs.
 func (sim *simulation) stopFaults() {
 	sim.faultsOff = true
-	for n, x := range sim.workers {
-		if x.failing || x.stuck || x.draining {
-			x.down = true
+	for n, w := range sim.workers {
+		if w.failing || w.stuck || w.draining {
+			w.down = true
 			sim.workers[n] = sim.newWorker(n)
 		}
 	}
@@ -69,8 +69,8 @@
 			return false
 		}
 	}
-	for _, x := range sim.workers {
-		if len(x.runs) > 0 {
+	for _, w := range sim.workers {
+		if len(w.runs) > 0 {
 			return false
 		}
 	}
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -159,8 +159,8 @@
 	sim.now += stepMillis
 	sim.deliver()
 	sim.updateGangs()
-	for n, x := range sim.workers {
-		sim.stepWorker(n, x)
+	for n, w := range sim.workers {
+		sim.stepWorker(n, w)
 	}
 	if sim.rand.IntN(8) == 0 && sim.submitted < 12 && !sim.faultsOff {
 		sim.submit()
@@ -220,8 +220,8 @@
 	case 4:
 		// A network partition: the leader receives no heartbeat of the worker
 		// for seconds.
-		x := sim.workers[sim.rand.IntN(len(sim.workers))]
-		x.nextHeartbeat = sim.now + clock.Millis(sim.rand.IntN(9000))
+		w := sim.workers[sim.rand.IntN(len(sim.workers))]
+		w.nextHeartbeat = sim.now + clock.Millis(sim.rand.IntN(9000))
 	case 5:
 		sim.workers[sim.rand.IntN(len(sim.workers))].draining = true
 	}
@@ -239,16 +239,16 @@
 		return
 	}
 	for _, o := range p.Orders {
-		for _, x := range sim.workers {
-			if x.id != o.Worker || x.incarnation != o.Incarnation || x.heartbeatLeader != l || x.sentAt == 0 {
+		for _, w := range sim.workers {
+			if w.id != o.Worker || w.incarnation != o.Incarnation || w.heartbeatLeader != l || w.sentAt == 0 {
 				continue
 			}
-			lease := sim.settings.LeaseMillis - max(0, x.sentAt-l.confirmedAt)
+			lease := sim.settings.LeaseMillis - max(0, w.sentAt-l.confirmedAt)
 			delay := clock.Millis(sim.rand.IntN(60))
 			if !sim.faultsOff && sim.rand.IntN(40) == 0 {
 				delay = clock.Millis(sim.rand.IntN(3000))
 			}
-			sim.replies = append(sim.replies, simReply{to: x, orders: o, lease: lease, token: l.token, sentAt: x.sentAt, arrivesAt: sim.now + delay})
+			sim.replies = append(sim.replies, simReply{to: w, orders: o, lease: lease, token: l.token, sentAt: w.sentAt, arrivesAt: sim.now + delay})
 		}
 	}
 }
@@ -306,60 +306,60 @@
 }
 
 func (sim *simulation) applyReply(reply simReply) {
-	x := reply.to
-	x.sentAt, x.nextHeartbeat = 0, sim.now+reply.orders.RetryAfter
-	if reply.token < x.token {
+	w := reply.to
+	w.sentAt, w.nextHeartbeat = 0, sim.now+reply.orders.RetryAfter
+	if reply.token < w.token {
 		return
 	}
-	x.token = reply.token
+	w.token = reply.token
 	// The worker's clock runs 2% slow.
-	x.leaseUntil = max(x.leaseUntil, reply.sentAt+reply.lease+reply.lease/50)
-	x.ends = slices.DeleteFunc(x.ends, func(e RunEnd) bool { return e.Number <= reply.orders.AckUpTo })
+	w.leaseUntil = max(w.leaseUntil, reply.sentAt+reply.lease+reply.lease/50)
+	w.ends = slices.DeleteFunc(w.ends, func(e RunEnd) bool { return e.Number <= reply.orders.AckUpTo })
 	for _, s := range reply.orders.Stops {
-		x.closed[s.Task] = max(x.closed[s.Task], s.Run)
-		if r := x.runs[s.Task]; r != nil && r.run == s.Run {
-			x.end(s.Task, r, jobs.ResultStopped)
+		w.closed[s.Task] = max(w.closed[s.Task], s.Run)
+		if r := w.runs[s.Task]; r != nil && r.run == s.Run {
+			w.end(s.Task, r, jobs.ResultStopped)
 		}
 	}
 	for _, s := range reply.orders.Starts {
-		sim.startRun(x, s)
+		sim.startRun(w, s)
 	}
 }
 
-func (x *simWorker) end(t jobs.TaskID, r *simRun, result jobs.Result) {
-	x.lastEnd++
-	x.ends = append(x.ends, RunEnd{Number: x.lastEnd, Task: t, Run: r.run, Result: result, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
-	x.closed[t] = max(x.closed[t], r.run)
-	delete(x.runs, t)
+func (w *simWorker) end(t jobs.TaskID, r *simRun, result jobs.Result) {
+	w.lastEnd++
+	w.ends = append(w.ends, RunEnd{Number: w.lastEnd, Task: t, Run: r.run, Result: result, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+	w.closed[t] = max(w.closed[t], r.run)
+	delete(w.runs, t)
 }
 
-func (sim *simulation) startRun(x *simWorker, s Start) {
-	if r := x.runs[s.Task]; r != nil && r.run == s.Run {
+func (sim *simulation) startRun(w *simWorker, s Start) {
+	if r := w.runs[s.Task]; r != nil && r.run == s.Run {
 		return
 	}
 	used := jobs.Resources{}
-	for t := range x.runs {
+	for t := range w.runs {
 		used = used.Plus(sim.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
 	need := sim.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
-	if s.Run <= x.closed[s.Task] || !need.Fits(x.capacity.Minus(used)) {
-		x.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
+	if s.Run <= w.closed[s.Task] || !need.Fits(w.capacity.Minus(used)) {
+		w.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
 		return
 	}
-	sim.checkStart(x, s)
+	sim.checkStart(w, s)
 	duration := clock.Millis(100 + sim.rand.IntN(900))
-	x.runs[s.Task] = &simRun{run: s.Run, startedAt: sim.now, duration: duration, fails: x.failing || sim.rand.IntN(25) == 0, checkpoint: s.Checkpoint}
-	sim.checkGang(x, s)
+	w.runs[s.Task] = &simRun{run: s.Run, startedAt: sim.now, duration: duration, fails: w.failing || sim.rand.IntN(25) == 0, checkpoint: s.Checkpoint}
+	sim.checkGang(w, s)
 }
 
 // checkGang checks that the running tasks of a gang share their run number and
 // started from the same checkpoint.
-func (sim *simulation) checkGang(x *simWorker, s Start) {
+func (sim *simulation) checkGang(w *simWorker, s Start) {
 	if !sim.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Gang {
 		return
 	}
-	for _, y := range sim.workers {
-		for t, r := range y.runs {
+	for _, other := range sim.workers {
+		for t, r := range other.runs {
 			if t.Job != s.Task.Job || t.Occurrence != s.Task.Occurrence || t.Step != s.Task.Step {
 				continue
 			}
@@ -367,7 +367,7 @@
 				sim.failf("task %v starts from checkpoint %q, but %v of its gang from %q", s.Task, s.Checkpoint, t, r.checkpoint)
 			}
 			if r.run > s.Run {
-				sim.failf("task %v starts run %d on %s while run %d of %v is running", s.Task, s.Run, x.id, r.run, t)
+				sim.failf("task %v starts run %d on %s while run %d of %v is running", s.Task, s.Run, w.id, r.run, t)
 			}
 		}
 	}
@@ -377,13 +377,13 @@
 // has lost a task, or has waited too long for the others, is stopped.
 func (sim *simulation) updateGangs() {
 	present := map[failedRun]int{}
-	for _, x := range sim.workers {
-		for t, r := range x.runs {
+	for _, w := range sim.workers {
+		for t, r := range w.runs {
 			present[gangRun(t, r)]++
 		}
 	}
-	for _, x := range sim.workers {
-		for t, r := range x.runs {
+	for _, w := range sim.workers {
+		for t, r := range w.runs {
 			step := &sim.committed.Jobs[t.Job].Steps[t.Step]
 			complete := present[gangRun(t, r)] == step.TaskCount
 			switch {
@@ -391,7 +391,7 @@
 			case complete && !r.formed:
 				r.formed, r.startedAt = true, sim.now
 			case !complete && (r.formed || sim.now-r.startedAt > gangTimeoutMillis):
-				x.end(t, r, jobs.ResultStopped)
+				w.end(t, r, jobs.ResultStopped)
 			}
 		}
 	}
@@ -403,11 +403,11 @@
 }
 
 // checkStart checks the invariants of a task start.
-func (sim *simulation) checkStart(x *simWorker, s Start) {
+func (sim *simulation) checkStart(w *simWorker, s Start) {
 	rec := sim.committed.Jobs[s.Task.Job]
 	switch {
 	case sim.done[s.Task]:
-		sim.failf("task %v starts on %s after it was recorded as done", s.Task, x.id)
+		sim.failf("task %v starts on %s after it was recorded as done", s.Task, w.id)
 	case sim.fails[s.Task] >= simMaxAttempts:
 		sim.failf("task %v starts after %d failed runs", s.Task, sim.fails[s.Task])
 	case !rec.Ready(s.Task.Occurrence, s.Task.Step):
@@ -418,16 +418,16 @@
 }
 
 // stepWorker simulates the work of a worker and sends its next heartbeat.
-func (sim *simulation) stepWorker(_ int, x *simWorker) {
-	if sim.now >= x.leaseUntil {
-		for t, r := range x.runs {
-			x.end(t, r, jobs.ResultExpired)
+func (sim *simulation) stepWorker(_ int, w *simWorker) {
+	if sim.now >= w.leaseUntil {
+		for t, r := range w.runs {
+			w.end(t, r, jobs.ResultExpired)
 		}
 	}
 	ended := false
-	for t, r := range x.runs {
+	for t, r := range w.runs {
 		step := &sim.committed.Jobs[t.Job].Steps[t.Step]
-		if step.LongRunning || (step.Gang && !r.formed) || x.stuck || sim.now-r.startedAt < r.duration {
+		if step.LongRunning || (step.Gang && !r.formed) || w.stuck || sim.now-r.startedAt < r.duration {
 			continue
 		}
 		result := jobs.ResultDone
@@ -437,43 +437,43 @@
 		if step.Gang && result == jobs.ResultDone {
 			sim.endGang(t, r)
 		} else {
-			x.end(t, r, result)
+			w.end(t, r, result)
 		}
 		ended = true
 	}
-	if x.sentAt != 0 && sim.now-x.sentAt > replyTimeoutMillis {
-		x.sentAt = 0
+	if w.sentAt != 0 && sim.now-w.sentAt > replyTimeoutMillis {
+		w.sentAt = 0
 	}
-	if ended && x.sentAt == 0 {
-		x.nextHeartbeat = min(x.nextHeartbeat, sim.now+60)
+	if ended && w.sentAt == 0 {
+		w.nextHeartbeat = min(w.nextHeartbeat, sim.now+60)
 	}
-	if x.sentAt == 0 && sim.now >= x.nextHeartbeat {
-		sim.sendHeartbeat(x)
+	if w.sentAt == 0 && sim.now >= w.nextHeartbeat {
+		sim.sendHeartbeat(w)
 	}
 }
 
 // endGang completes all tasks of a gang.
 func (sim *simulation) endGang(task jobs.TaskID, r *simRun) {
 	key := gangRun(task, r)
-	for _, x := range sim.workers {
-		for t, y := range x.runs {
+	for _, w := range sim.workers {
+		for t, y := range w.runs {
 			if gangRun(t, y) == key {
-				x.end(t, y, jobs.ResultDone)
+				w.end(t, y, jobs.ResultDone)
 			}
 		}
 	}
 }
 
-func (sim *simulation) sendHeartbeat(x *simWorker) {
-	x.seq++
-	x.sentAt = sim.now
+func (sim *simulation) sendHeartbeat(w *simWorker) {
+	w.seq++
+	w.sentAt = sim.now
 	h := Heartbeat{
-		Worker: x.id, Incarnation: x.incarnation, Machine: x.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: x.seq, Capacity: x.capacity,
-		Draining: x.draining, Ends: slices.Clone(x.ends), ReceivedAt: sim.now,
+		Worker: w.id, Incarnation: w.incarnation, Machine: w.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: w.seq, Capacity: w.capacity,
+		Draining: w.draining, Ends: slices.Clone(w.ends), ReceivedAt: sim.now,
 	}
-	for t, r := range x.runs {
+	for t, r := range w.runs {
 		percent := int(100 * (sim.now - r.startedAt) / r.duration)
-		if x.stuck {
+		if w.stuck {
 			percent = 0
 		}
 		h.Running = append(h.Running, RunStatus{Task: t, Run: r.run, Percent: min(percent, 99), Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
@@ -485,9 +485,9 @@
 	if sim.stale != nil && sim.rand.IntN(2) == 0 {
 		l = sim.stale
 	}
-	x.heartbeatLeader = nil
+	w.heartbeatLeader = nil
 	if l.scheduler.Heartbeat(h, sim.now) {
-		x.heartbeatLeader = l
+		w.heartbeatLeader = l
 	}
 	if !sim.faultsOff && sim.rand.IntN(50) == 0 {
 		// A heartbeat may arrive twice or late.
@@ -498,12 +498,12 @@
 // checkSingleRuns checks that no task runs on two workers at the same time.
 func (sim *simulation) checkSingleRuns() {
 	seen := map[jobs.TaskID]*simWorker{}
-	for _, x := range sim.workers {
-		for t := range x.runs {
-			if y := seen[t]; y != nil {
-				sim.failf("task %v runs on %s and %s", t, x.id, y.id)
+	for _, w := range sim.workers {
+		for t := range w.runs {
+			if other := seen[t]; other != nil {
+				sim.failf("task %v runs on %s and %s", t, w.id, other.id)
 			}
-			seen[t] = x
+			seen[t] = w
 		}
 	}
 }
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -78,7 +78,7 @@
 // fit can complete.
 func upperBound(all []simJob) int {
 	const cores = loadWorkers * loadMilliCoresPerWorker / 1000
-	best := len(all)
+	bound := len(all)
 	for from := clock.Millis(0); from < loadMillis; from += 100 * loadStepMillis {
 		for to := from + clock.Second; to < loadMillis+10*clock.Second; to += 100 * loadStepMillis {
 			var inside []clock.Millis
@@ -88,17 +88,17 @@
 				}
 			}
 			slices.Sort(inside)
-			left, fit := cores*(to-from), 0
-			for _, w := range inside {
-				if left -= w; left < 0 {
+			remaining, fitting := cores*(to-from), 0
+			for _, work := range inside {
+				if remaining -= work; remaining < 0 {
 					break
 				}
-				fit++
+				fitting++
 			}
-			best = min(best, len(all)-len(inside)+fit)
+			bound = min(bound, len(all)-len(inside)+fitting)
 		}
 	}
-	return best
+	return bound
 }
 
 // loadWorker is a simulated worker without faults.
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -45,12 +45,12 @@
 // there exceeds its latency target, and speeds them up step by step once it
 // does not. This follows loads of serving tasks that change within seconds.
 func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
-	worst, bestEffort := w.tailLatency()
+	worstPermille, bestEffort := w.tailLatency()
 	if bestEffort == 0 {
 		w.speed = speed{percent: fullSpeedPercent}
 		return
 	}
-	percent := nextSpeed(w.speed.percent, worst)
+	percent := nextSpeed(w.speed.percent, worstPermille)
 	if percent != w.speed.percent && now-w.speed.changedAt >= speedPeriodMillis {
 		w.speed = speed{percent: percent, changedAt: now, repeatsLeft: fullSpeedRepeats}
 		s.replyBy(w, now)
@@ -70,13 +70,13 @@
 
 // nextSpeed returns the speed that follows percent, given the worst tail
 // latency in permille of its target.
-func nextSpeed(percent, worst int) int {
+func nextSpeed(percent, worstPermille int) int {
 	switch {
-	case worst > slowTailPermille && percent/speedDivisor < minSpeedPercent:
+	case worstPermille > slowTailPermille && percent/speedDivisor < minSpeedPercent:
 		return 0
-	case worst > slowTailPermille:
+	case worstPermille > slowTailPermille:
 		return percent / speedDivisor
-	case worst < fastTailPermille:
+	case worstPermille < fastTailPermille:
 		return min(percent+speedStepPercent, fullSpeedPercent)
 	}
 	return percent
@@ -89,14 +89,14 @@
 // tailLatency returns the worst tail latency of the serving tasks on the
 // worker, in permille of the target, and the number of best-effort tasks that
 // can be throttled.
-func (w *worker) tailLatency() (worst, bestEffort int) {
+func (w *worker) tailLatency() (worstPermille, bestEffort int) {
 	for _, r := range w.runs {
 		if r.throttleable() {
 			bestEffort++
 		}
 		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.serving() {
-			worst = max(worst, r.load*1000/int(r.step.LatencyTarget))
+			worstPermille = max(worstPermille, r.load*1000/int(r.step.LatencyTarget))
 		}
 	}
-	return worst, bestEffort
+	return worstPermille, bestEffort
 }
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -214,7 +214,7 @@
 	}
 	behind := s.behindSchedule(v, now)
 	ending := map[stepKey]int{}
-	recs := map[stepKey]*jobs.Record{}
+	records := map[stepKey]*jobs.Record{}
 	for t, r := range w.runs {
 		switch {
 		case !r.step.LongRunning:
@@ -224,11 +224,11 @@
 		case r.step.MaxUnavailable > 0 && r.serving():
 			k := stepKeyOf(t)
 			ending[k]++
-			recs[k] = r.rec
+			records[k] = r.rec
 		}
 	}
 	for k, n := range ending {
-		rec := recs[k]
+		rec := records[k]
 		if rec.Status.Final() {
 			continue
 		}
