Say in plain sentences what rebalancing and placement costs mean

Some sentences of package sched had to be read twice: the costs of placing a long-running task, vacating workers, the pause before the next heartbeat, the length of a downtime, and the upper bound in the surge test.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -96,9 +96,9 @@
 }
 
 // requestAdvice asks the advice service which workers may run the waiting tasks
-// of a group, unless another request is pending. Going by the queue's earlier
-// responses, it names enough workers that the expected number of approved ones
-// suffices, starting with workers that have enough free resources.
+// of a group, unless another request is pending. The request names workers with
+// enough free resources first, and as many as should yield enough approvals,
+// going by the queue's earlier responses.
 func (s *Scheduler[P, H]) requestAdvice(p *pool, g *taskGroup, now clock.Millis) {
 	if s.adviceOf(g.rec).TicketValidity == 0 || s.advice.pendingWorkers != nil {
 		return
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -196,6 +196,8 @@
 	}
 }
 
+// clearUnassigned forgets the unassigned runs of a worker and frees their
+// resources.
 func (s *Scheduler[P, H]) clearUnassigned(w *worker) {
 	for _, extra := range w.unassigned {
 		w.used = w.used.Minus(extra.resources)
@@ -255,6 +257,8 @@
 	}
 }
 
+// startOrder returns the order to start a run from the task's latest
+// checkpoint.
 func (s *Scheduler[P, H]) startOrder(w *worker, r *run) Start {
 	ticket, _ := s.ticket(w, stepKeyOf(r.task), s.now)
 	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Checkpoint: r.rec.Task(r.task).Checkpoint, Ticket: ticket}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -209,9 +209,10 @@
 	return result
 }
 
-// The costs of placing a long-running task on a worker: for each task of the
-// same step on it, for each long-running task on it of which exactly one of the
-// two is best-effort, and for a worker without long-running tasks. The last one
+// The costs of placing a long-running task on a worker. sameStepCost applies
+// for each task of the same step on the worker, mixedCost for each long-running
+// task on it that is best-effort while the placed task is not, or the reverse.
+// firstLongRunningCost applies if the worker runs no long-running task yet; it
 // keeps workers free that can be moved or powered off.
 const (
 	sameStepCost         = 100
@@ -257,9 +258,9 @@
 	}
 }
 
-// retryAfter returns the pause until a worker's next heartbeat: it ends shortly
-// after the next expected end of a task, or after the minimum for a worker
-// without such tasks.
+// retryAfter returns the pause until a worker's next heartbeat: until the next
+// expected end of a task, limited by MinRetryMillis and MaxRetryMillis, or
+// MinRetryMillis for a worker that waits for work.
 func (s *Scheduler[P, H]) retryAfter(w *worker, now clock.Millis) clock.Millis {
 	end, ok := w.predictNextEnd(now)
 	if !ok {
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -162,6 +162,7 @@
 	}
 }
 
+// pool returns the pool with the given name and adds it if it is new.
 func (s *Scheduler[P, H]) pool(name jobs.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
@@ -188,6 +189,8 @@
 	}
 }
 
+// queueOccurrence queues the waiting tasks of an occurrence whose dependencies
+// are done.
 func (s *Scheduler[P, H]) queueOccurrence(r *jobs.Record, occurrence int, now clock.Millis) {
 	p := s.pool(s.poolOf(r))
 	for step := range r.Steps {
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -94,8 +94,8 @@
 // rebalance moves machines to pools whose waiting work does not start in time:
 // first machines that are powered off, then idle machines of other pools.
 // Machines that stay idle are moved to the standby pool. It is designed for
-// loads that rise in turn to several times their mean for some seconds, while a
-// move takes about a second and a half.
+// pools whose loads rise in turn to several times their mean for some seconds,
+// while a move takes about a second and a half.
 func (s *Scheduler[P, H]) rebalance(now clock.Millis) {
 	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance || now < s.termStart+s.settings.TakeoverDelayMillis {
 		return
@@ -399,10 +399,11 @@
 	return false
 }
 
-// vacateWorkers keeps new tasks off as many busy workers of pools with more
-// machines than they need as other pools are missing. Otherwise tasks of a
-// second or two would keep each of them a little busy as long as the pool has
-// any work.
+// vacateWorkers keeps new tasks off busy workers of pools that have more
+// machines than they need, up to the number of machines that other pools are
+// missing. Otherwise tasks of a second or two would keep each of these workers
+// slightly busy for as long as its pool has any work, and its machine could not
+// be moved.
 func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
 	for i := len(loads) - 1; i >= 0; i-- {
 		load := loads[i]
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -209,8 +209,8 @@
 	s.queueJob(r, now)
 }
 
-// maxLease returns the time after which a lease granted now has ended even on
-// the slowest allowed clock.
+// maxLease returns the longest duration of a lease on the leader's clock, if
+// the worker's clock is as slow as allowed.
 func (s *Scheduler[P, H]) maxLease() clock.Millis {
 	return s.settings.LeaseMillis + s.settings.LeaseMillis*s.settings.DriftPermille/1000
 }
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -72,10 +72,10 @@
 	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * j.duration / 1000
 }
 
-// upperBound returns a number of jobs on time that no schedule can exceed. In
-// each time window, the jobs that arrive and are due within it share the
-// processor time of the window, so at most as many as the smallest ones that
-// fit can complete.
+// upperBound returns an upper bound on the number of jobs that any schedule can
+// complete on time. The jobs that arrive and are due within a time window share
+// its processor time, so at most as many of them can complete as fit when the
+// smallest go first.
 func upperBound(all []simJob) int {
 	const cores = loadWorkers * loadMilliCoresPerWorker / 1000
 	bound := len(all)
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -44,8 +44,8 @@
 	// incarnation is that of the machine's worker at the order; 0 for none or
 	// unknown.
 	incarnation jobs.Incarnation
-	// since is when the maintenance was ordered or confirmed; 0 for an order of
-	// an earlier term.
+	// since is when the maintenance was ordered or, later, when the order was
+	// confirmed or its answer was lost; 0 for an order of an earlier term.
 	since clock.Millis
 }
 
@@ -91,10 +91,10 @@
 	}
 }
 
-// clearReturned removes from down the machines whose worker has a new
+// clearReturned ends the downtime of machines whose worker has a new
 // incarnation. A machine without a known worker, such as one that is powered
-// off, has none that could return; its downtime is limited by the duration of a
-// maintenance.
+// off, has none that could return, so a downtime also ends after the time that
+// a maintenance can take.
 func (s *Scheduler[P, H]) clearReturned(v *wave, now clock.Millis) {
 	for m, outage := range v.down {
 		if v.pending[m] {
