--- /dev/null
+++ b/core/state/sched/heartbeat.go
@@ -0,0 +1,385 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
+)
+
+// Heartbeat processes a heartbeat; its reply is part of a later plan. It
+// returns false for an outdated heartbeat: one of an incarnation that was
+// removed or is earlier than the current one of the worker or the machine, or
+// one that is not newer than the last one processed.
+func (s *Scheduler[P, H]) Heartbeat(h Heartbeat, now clock.Millis) bool {
+	s.now = max(s.now, now)
+	w := s.workers[h.Worker]
+	if w != nil && (h.Incarnation < w.incarnation || (h.Incarnation == w.incarnation && w.reported && h.Seq <= w.seq)) {
+		return false
+	}
+	if m := s.workerByMachine[h.Machine]; m != nil && m.id != h.Worker && h.Incarnation < m.incarnation {
+		return false
+	}
+	if h.Incarnation <= s.removedIncarnations[h.Worker] {
+		return false
+	}
+	if w != nil && h.Incarnation > w.incarnation {
+		s.dropWorker(w, "a new life of the worker began", now)
+		w = nil
+	}
+	if w == nil {
+		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
+		s.workers[h.Worker] = w
+		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
+	}
+	s.updateWorker(w, h, now)
+	ack := s.handleRunEnds(w, h, now)
+	s.updateRuns(w, h, now)
+	s.machineArrived(w)
+	w.heartbeat = &pendingHeartbeat{ackUpTo: ack, urgent: len(h.Ends) > 0}
+	w.leaseUntil = max(w.leaseUntil, h.ReceivedAt+s.maxLease())
+	if w.leaseExpired {
+		w.leaseExpired = false
+		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
+	}
+	s.repeatOrders(w, now)
+	s.stopStalledRuns(w, now)
+	s.adjustSpeed(w, now)
+	if !w.draining {
+		p := s.pool(w.pool)
+		p.available[w.id] = w
+		s.dirtyPools[p] = true
+	}
+	s.replyBy(w, s.replyTime(w, now))
+	return true
+}
+
+// replyBy sets the time at which a worker's heartbeat must be answered, unless
+// it is due earlier.
+func (s *Scheduler[P, H]) replyBy(w *worker, at clock.Millis) {
+	if w.heartbeat == nil || (w.heartbeat.hasReplyBy && w.heartbeat.replyBy <= at) {
+		return
+	}
+	w.heartbeat.replyBy, w.heartbeat.hasReplyBy = at, true
+	s.replyDeadlines.Push(replyDeadline{at: at, heartbeat: w.heartbeat, w: w})
+}
+
+// updateWorker updates the worker from its heartbeat.
+func (s *Scheduler[P, H]) updateWorker(w *worker, h Heartbeat, now clock.Millis) {
+	if m := s.workerByMachine[h.Machine]; m != nil && m != w {
+		s.dropWorker(m, "another worker runs on its machine", now)
+	}
+	if w.pool != h.Pool && w.pool != "" {
+		delete(s.pool(w.pool).available, w.id)
+	}
+	w.machine, w.pool, w.zone, w.labels = h.Machine, h.Pool, h.Zone, h.Labels
+	w.rack = rackOf(h.Labels)
+	w.seq, w.capacity, w.reported = h.Seq, h.Capacity, true
+	if h.Machine != "" {
+		s.workerByMachine[h.Machine] = w
+	}
+	if h.Draining && !w.draining {
+		w.draining = true
+		delete(s.pool(w.pool).available, w.id)
+	}
+}
+
+// rackOf returns the label that identifies a worker's rack: the last label that
+// contains a hyphen.
+func rackOf(labels []string) string {
+	for i := len(labels) - 1; i >= 0; i-- {
+		if strings.Contains(labels[i], "-") {
+			return labels[i]
+		}
+	}
+	return ""
+}
+
+// handleRunEnds processes the run ends in a heartbeat and returns the highest
+// end number.
+func (s *Scheduler[P, H]) handleRunEnds(w *worker, h Heartbeat, now clock.Millis) int64 {
+	ack := int64(0)
+	for _, e := range h.Ends {
+		ack = max(ack, e.Number)
+		r := w.runs[e.Task]
+		if r == nil || r.number != e.Run {
+			continue
+		}
+		s.endRun(w, r, e.Result, e.Checkpoint, now)
+	}
+	return ack
+}
+
+// endRun records the end of a run and queues the tasks that can start because
+// of it.
+func (s *Scheduler[P, H]) endRun(w *worker, r *run, result jobs.Result, checkpoint string, now clock.Millis) {
+	if checkpoint == "" {
+		checkpoint = r.checkpoint
+	}
+	s.removeRun(w, r)
+	rec := r.rec
+	previousStatus := rec.Status
+	needed := r.needed()
+	s.apply(jobs.Op{Kind: jobs.OpEnd, Task: r.task, Run: r.number, Worker: w.id, Result: result, Checkpoint: checkpoint}, now)
+	if result != jobs.ResultDone {
+		reason := result.String()
+		if r.stopReason != "" {
+			reason += ": " + r.stopReason
+		}
+		s.noteRun(DecisionEnded, r, w, reason)
+	}
+	if result == jobs.ResultDone || result == jobs.ResultFailed {
+		s.updateHealth(w, r, result == jobs.ResultFailed, now)
+	}
+	if result == jobs.ResultRefused {
+		s.dropTicket(w, r)
+	}
+	delete(s.lastFailedOn, r.task)
+	if result == jobs.ResultFailed && !rec.Status.Final() {
+		s.lastFailedOn[r.task] = w.id
+	}
+	switch {
+	case rec.Status.Final():
+		if !previousStatus.Final() {
+			s.noteJobEnd(rec, now)
+			s.stopJobRuns(rec)
+		}
+	case !needed:
+	case result == jobs.ResultDone && !r.step.LongRunning:
+		s.queueDependents(rec, r.task, now)
+	default:
+		s.queueTask(rec, r.task, now)
+		s.stopGang(rec, r.task)
+	}
+}
+
+// queueDependents queues the steps that become ready when all tasks of the step
+// of t are done.
+func (s *Scheduler[P, H]) queueDependents(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
+	state := &r.Occurrences[t.Occurrence].Steps[t.Step]
+	if state.DoneTasks < len(state.Tasks) {
+		return
+	}
+	for i := range r.Steps {
+		if !slices.Contains(r.Steps[i].DependsOn, t.Step) || !r.Ready(t.Occurrence, i) {
+			continue
+		}
+		for n := r.Steps[i].TaskCount - 1; n >= 0; n-- {
+			s.queueTask(r, jobs.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: i, Index: n}, now)
+		}
+	}
+}
+
+// updateRuns compares the runs in a heartbeat with those assigned to the
+// worker.
+func (s *Scheduler[P, H]) updateRuns(w *worker, h Heartbeat, now clock.Millis) {
+	for _, r := range w.runs {
+		r.listed = false
+	}
+	s.clearUnassigned(w)
+	for _, status := range h.Running {
+		r := w.runs[status.Task]
+		if r == nil || r.number != status.Run {
+			s.addUnassigned(w, status)
+			continue
+		}
+		r.listed, r.load = true, status.Load
+		if status.Percent != r.percent || r.progressedAt == 0 {
+			r.progressedAt = now
+		}
+		r.percent = status.Percent
+		if status.Checkpoint != "" {
+			r.checkpoint = status.Checkpoint
+		}
+	}
+}
+
+// clearUnassigned forgets the unassigned runs of a worker and frees their
+// resources.
+func (s *Scheduler[P, H]) clearUnassigned(w *worker) {
+	for _, extra := range w.unassigned {
+		w.used = w.used.Minus(extra.resources)
+	}
+	w.unassigned = nil
+}
+
+// addUnassigned records a run that is not assigned to the worker. It takes
+// capacity until it has ended.
+func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
+	extra := unassignedRun{run: status.Run}
+	if r := s.State.Jobs[status.Task.Job]; r != nil && status.Task.Step >= 0 && status.Task.Step < len(r.Steps) {
+		extra.resources = reservation(&r.Steps[status.Task.Step])
+	}
+	if w.unassigned == nil {
+		w.unassigned = map[jobs.TaskID]unassignedRun{}
+	}
+	w.unassigned[status.Task] = extra
+	w.used = w.used.Plus(extra.resources)
+}
+
+// repeatOrders repeats the orders that, according to the heartbeat, did not
+// arrive. A heartbeat that does not list a run was sent after the worker had
+// processed or dropped the reply with its start order, so that reply can no
+// longer start it.
+func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
+	for t, extra := range w.unassigned {
+		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
+	}
+	for _, id := range sortedTaskIDs(w.runs) {
+		r := w.runs[id]
+		switch {
+		case r.listed && (r.stopping || !r.needed()):
+			w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: id, Run: r.number})
+		case !r.listed && (r.stopping || !r.needed() || w.draining):
+			s.endRun(w, r, jobs.ResultLost, "", now)
+		case !r.listed:
+			w.heartbeat.starts = append(w.heartbeat.starts, s.startOrder(w, r))
+		case w.draining:
+			s.stopForDrain(w, r, now)
+		}
+	}
+}
+
+// needed reports whether the job still needs the run: the job has not ended,
+// and the run's gang has not completed through another task.
+func (r *run) needed() bool {
+	t := r.rec.Task(r.task)
+	return !r.rec.Status.Final() && t.Phase == jobs.PhaseAssigned && t.Run == r.number
+}
+
+// stopForDrain stops a long-running task on a draining worker, so that it
+// starts elsewhere before the worker exits.
+func (s *Scheduler[P, H]) stopForDrain(w *worker, r *run, now clock.Millis) {
+	if r.step.LongRunning && !r.stopping {
+		s.stopRun(w, r, "its worker drains")
+	}
+}
+
+// startOrder returns the order to start a run from the task's latest
+// checkpoint.
+func (s *Scheduler[P, H]) startOrder(w *worker, r *run) Start {
+	ticket, _ := s.ticket(w, stepKeyOf(r.task), s.now)
+	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Checkpoint: r.rec.Task(r.task).Checkpoint, Ticket: ticket}
+}
+
+// stopRun orders the stop of a run in the next reply to its worker.
+func (s *Scheduler[P, H]) stopRun(w *worker, r *run, reason string) {
+	if r.stopping {
+		return
+	}
+	r.stopping, r.stopReason = true, reason
+	s.noteRun(DecisionStopped, r, w, reason)
+	if w.heartbeat != nil {
+		s.replyBy(w, s.now)
+		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: r.task, Run: r.number})
+		w.heartbeat.starts = slices.DeleteFunc(w.heartbeat.starts, func(start Start) bool { return start.Task == r.task })
+	}
+}
+
+// RemoveWorker removes a worker that has exited. An incarnation of 0 matches
+// any.
+func (s *Scheduler[P, H]) RemoveWorker(id jobs.WorkerID, incarnation jobs.Incarnation, now clock.Millis) {
+	if w := s.workers[id]; w != nil && (incarnation == 0 || incarnation == w.incarnation) {
+		s.dropWorker(w, "the worker left", now)
+	}
+}
+
+// dropWorker removes an incarnation of a worker that can no longer run
+// anything; its tasks may start elsewhere.
+func (s *Scheduler[P, H]) dropWorker(w *worker, reason string, now clock.Millis) {
+	s.loseRuns(w, reason, now)
+	s.removedIncarnations[w.id] = max(s.removedIncarnations[w.id], w.incarnation)
+	delete(s.pool(w.pool).available, w.id)
+	if s.workers[w.id] == w {
+		delete(s.workers, w.id)
+	}
+	if s.workerByMachine[w.machine] == w {
+		delete(s.workerByMachine, w.machine)
+	}
+}
+
+// loseRuns ends all runs of a worker as lost.
+func (s *Scheduler[P, H]) loseRuns(w *worker, reason string, now clock.Millis) {
+	for _, id := range sortedTaskIDs(w.runs) {
+		r := w.runs[id]
+		r.stopReason = reason
+		s.endRun(w, r, jobs.ResultLost, "", now)
+	}
+	s.clearUnassigned(w)
+}
+
+// updateHealth adds the result of a run to the worker's failure score, in
+// comparison with the results of the queue's tasks on other workers, and
+// quarantines the worker above a threshold. Several failures of one job count
+// once, because a job that cannot succeed fails on every worker.
+func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
+	p := s.pool(w.pool)
+	history := p.history[r.rec.Queue]
+	if history == nil {
+		history = place.NewClassHistory()
+		p.history[r.rec.Queue] = history
+	}
+	if failed && w.lastFailedJob == r.task.Job {
+		return
+	}
+	id := place.WorkerID(w.id)
+	w.failureScore = max(0, w.failureScore+s.healthPolicy.Score(history.Evidence(id, failed)))
+	history.Add(id, failed)
+	if !failed {
+		w.failedJobsInRow = 0
+		return
+	}
+	w.failedJobsInRow++
+	w.lastFailedJob = r.task.Job
+	if w.failureScore >= s.healthPolicy.Threshold() && w.failedJobsInRow >= quarantineFailedJobs && w.quarantinedUntil <= now {
+		w.quarantinedUntil = now + s.settings.QuarantineMillis
+		w.failureScore = s.healthPolicy.Threshold() / 2
+		s.noteRun(DecisionQuarantined, r, w, "it fails what its peers run")
+	}
+}
+
+// quarantineFailedJobs is the number of consecutive jobs that must fail on a
+// worker before it is quarantined.
+const quarantineFailedJobs = 2
+
+// replyTime returns when a heartbeat must be answered. A worker whose task may
+// end soon is answered immediately, because it reports the end only after the
+// reply.
+func (s *Scheduler[P, H]) replyTime(w *worker, now clock.Millis) clock.Millis {
+	if w.heartbeat.urgent || len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0 {
+		return now
+	}
+	hold := s.settings.MaxHoldMillis
+	if worstPermille, bestEffort := w.tailLatency(); bestEffort > 0 && worstPermille > fastTailPermille {
+		hold = min(hold, speedPeriodMillis)
+	}
+	if end, ok := w.predictNextEnd(now); ok {
+		hold = min(hold, end-now-2*s.settings.MinRetryMillis)
+	}
+	if hold < 2*s.settings.MinRetryMillis {
+		return now
+	}
+	return now + hold
+}
+
+// predictNextEnd predicts when the next task of the worker ends, from the
+// task's progress or, without progress, its estimate.
+func (w *worker) predictNextEnd(now clock.Millis) (at clock.Millis, ok bool) {
+	for _, r := range w.runs {
+		if r.step.LongRunning {
+			continue
+		}
+		end := now
+		if r.percent > 0 && r.percent < 100 {
+			end = now + (now-r.assignedAt)*clock.Millis(100-r.percent)/clock.Millis(r.percent)
+		} else if remaining := r.assignedAt + r.step.Estimate*3/4 - now; remaining > 0 {
+			end = now + remaining
+		}
+		if !ok || end < at {
+			at, ok = end, true
+		}
+	}
+	return at, ok
+}
--- /dev/null
+++ b/core/state/sched/queue.go
@@ -0,0 +1,294 @@
+package sched
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
+)
+
+// Rank is the position of waiting work; a smaller rank is placed first.
+type Rank struct {
+	// Class takes precedence over Key and Seq.
+	Class int
+	Key   clock.Millis
+	// Seq breaks ties by the order of acceptance.
+	Seq uint64
+}
+
+// RankPolicy decides which waiting work is placed first.
+type RankPolicy interface {
+	Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank
+}
+
+// The classes of waiting work, in the order in which they are placed.
+const (
+	classLongRunning = iota
+	classOnTime
+	classLate
+)
+
+// Deadline returns the latest time at which an occurrence of a job counts as on
+// time.
+func Deadline(r *jobs.Record, occurrence int) clock.Millis {
+	from := max(r.AcceptedAt, r.Due(occurrence))
+	return from + r.Target + r.CriticalPath()*clock.Millis(r.StretchPermille)/1000
+}
+
+// EarliestDeadline places work in the order of deadlines, and work that will
+// miss its deadline after all work that can still meet it. Without the second
+// rule every job of a load that exceeds the workers for some seconds would
+// start just too late.
+type EarliestDeadline struct{}
+
+// Rank ranks work by deadline, after long-running work and ahead of late work.
+func (EarliestDeadline) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
+	k := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
+	switch {
+	case hasLongRunningStep(&r.Job):
+		k.Class, k.Key = classLongRunning, clock.Millis(r.Priority)
+	case k.Key < now+remainingPath(r, occurrence):
+		k.Class = classLate
+	}
+	return k
+}
+
+// remainingPath returns the length of the longest chain of dependent steps that
+// are not done, by their estimates.
+func remainingPath(r *jobs.Record, occurrence int) clock.Millis {
+	var longest clock.Millis
+	var buf [16]clock.Millis
+	ends := buf[:0]
+	o := &r.Occurrences[occurrence]
+	for i := range r.Steps {
+		var end clock.Millis
+		for _, dependency := range r.Steps[i].DependsOn {
+			end = max(end, ends[dependency])
+		}
+		if o.Steps[i].DoneTasks < len(o.Steps[i].Tasks) {
+			end += r.Steps[i].Estimate
+		}
+		ends = append(ends, end)
+		longest = max(longest, end)
+	}
+	return longest
+}
+
+// FIFO places work in the order of acceptance. It is the baseline for
+// comparisons.
+type FIFO struct{}
+
+// Rank ranks work by the order of acceptance.
+func (FIFO) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
+
+func hasLongRunningStep(j *jobs.Job) bool {
+	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.LongRunning })
+}
+
+// pool is the waiting work and the available workers of one pool.
+type pool struct {
+	// groups holds the steps with waiting tasks. sorted is false after an
+	// addition.
+	groups []*taskGroup
+	sorted bool
+	// rankedAt is when the ranks were last recomputed.
+	rankedAt    clock.Millis
+	groupByStep map[stepKey]*taskGroup
+	// available holds the workers whose heartbeat waits for its reply; only
+	// these can be given tasks.
+	available map[jobs.WorkerID]*worker
+	// newWork is the work submitted since the last update of arrivalRate, in
+	// milli-cores times milliseconds.
+	newWork clock.Millis
+	// arrivalRate is the moving average of the work that arrives per
+	// millisecond, in milli-cores, over about half a second.
+	arrivalRate float64
+	// history records the results of the pool's workers, by queue.
+	history map[jobs.QueueName]*place.ClassHistory
+}
+
+// stepKey identifies a step of one occurrence of a job.
+type stepKey struct {
+	job        jobs.ID
+	occurrence int
+	step       int
+}
+
+// stepKeyOf returns the key of the step that a task belongs to.
+func stepKeyOf(t jobs.TaskID) stepKey { return stepKey{t.Job, t.Occurrence, t.Step} }
+
+// taskID returns the ID of a task of the step.
+func (k stepKey) taskID(index int) jobs.TaskID {
+	return jobs.TaskID{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
+}
+
+// taskGroup is the waiting tasks of one step.
+type taskGroup struct {
+	key  stepKey
+	rec  *jobs.Record
+	step *jobs.Step
+	// waiting holds the indexes of the waiting tasks in reverse order: the next
+	// one is last. waitingSince is when the group last changed from empty to
+	// waiting.
+	waiting      []int
+	waitingSince clock.Millis
+	rank         Rank
+}
+
+// scheduledOccurrence is an occurrence that is not due yet.
+type scheduledOccurrence struct {
+	dueAt      clock.Millis
+	job        jobs.ID
+	occurrence int
+}
+
+// Before orders by due time, then job and occurrence.
+func (l scheduledOccurrence) Before(m scheduledOccurrence) bool {
+	return cmp.Or(cmp.Compare(l.dueAt, m.dueAt), cmp.Compare(l.job, m.job), cmp.Compare(l.occurrence, m.occurrence)) < 0
+}
+
+// liveWorkers iterates over the workers of a pool that have sent a heartbeat in
+// this term and whose lease has not expired.
+func (s *Scheduler[P, H]) liveWorkers(p *pool, now clock.Millis) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for _, w := range s.workers {
+			if s.pools[w.pool] == p && w.reported && w.leaseUntil >= now && !yield(w) {
+				return
+			}
+		}
+	}
+}
+
+// pool returns the pool with the given name and adds it if it is new.
+func (s *Scheduler[P, H]) pool(name jobs.PoolName) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{
+			groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{}, history: map[jobs.QueueName]*place.ClassHistory{},
+		}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// queueJob queues the tasks of a job that may start now, and schedules the
+// occurrences that are not due.
+func (s *Scheduler[P, H]) queueJob(r *jobs.Record, now clock.Millis) {
+	if r.Status.Final() {
+		return
+	}
+	for occurrence := range r.Occurrences {
+		if due := r.Due(occurrence); due > now {
+			s.scheduled.Push(scheduledOccurrence{dueAt: due, job: r.ID, occurrence: occurrence})
+			continue
+		}
+		s.queueOccurrence(r, occurrence, now)
+	}
+}
+
+// queueOccurrence queues the waiting tasks of an occurrence whose dependencies
+// are done.
+func (s *Scheduler[P, H]) queueOccurrence(r *jobs.Record, occurrence int, now clock.Millis) {
+	p := s.pool(s.poolOf(r))
+	for step := range r.Steps {
+		p.newWork += finiteWork(&r.Steps[step], r.Steps[step].TaskCount, r.Steps[step].Estimate)
+	}
+	for step := range r.Steps {
+		if !r.Ready(occurrence, step) {
+			continue
+		}
+		tasks := r.Occurrences[occurrence].Steps[step].Tasks
+		for index := len(tasks) - 1; index >= 0; index-- {
+			if tasks[index].Phase == jobs.PhaseWaiting {
+				s.queueTask(r, jobs.TaskID{Job: r.ID, Occurrence: occurrence, Step: step, Index: index}, now)
+			}
+		}
+	}
+}
+
+// queueTask adds a waiting task to its pool.
+func (s *Scheduler[P, H]) queueTask(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
+	if r.Status.Final() {
+		return
+	}
+	p := s.pool(s.poolOf(r))
+	key := stepKeyOf(t)
+	g := p.groupByStep[key]
+	if g != nil && len(g.waiting) == 0 {
+		g.waitingSince = now
+	}
+	if g == nil {
+		g = &taskGroup{key: key, rec: r, step: &r.Steps[t.Step], rank: s.rankPolicy.Rank(r, t.Occurrence, now), waitingSince: now}
+		p.groupByStep[key] = g
+		p.groups = append(p.groups, g)
+		p.sorted = false
+	}
+	g.waiting = append(g.waiting, t.Index)
+	s.dirtyPools[p] = true
+}
+
+// reassignPools moves waiting work to the pools of the current configuration.
+func (s *Scheduler[P, H]) reassignPools() {
+	for name, p := range s.pools {
+		kept := p.groups[:0]
+		for _, g := range p.groups {
+			to := s.poolOf(g.rec)
+			if to == name {
+				kept = append(kept, g)
+				continue
+			}
+			delete(p.groupByStep, g.key)
+			q := s.pool(to)
+			q.groups, q.sorted = append(q.groups, g), false
+			q.groupByStep[g.key] = g
+			s.dirtyPools[q] = true
+		}
+		p.groups = kept
+	}
+}
+
+// maxRankAgeMillis limits the age of the ranks of waiting work. A rank changes
+// when work becomes late, which takes seconds.
+const maxRankAgeMillis clock.Millis = 100
+
+// sortGroups sorts the groups of a pool by rank and removes those without
+// waiting tasks.
+func (s *Scheduler[P, H]) sortGroups(p *pool, now clock.Millis) {
+	refresh := now-p.rankedAt >= maxRankAgeMillis
+	if !refresh && p.sorted {
+		return
+	}
+	kept := p.groups[:0]
+	for _, g := range p.groups {
+		if len(g.waiting) == 0 || g.rec.Status.Final() {
+			delete(p.groupByStep, g.key)
+			continue
+		}
+		if refresh {
+			g.rank = s.rankPolicy.Rank(g.rec, g.key.occurrence, now)
+		}
+		kept = append(kept, g)
+	}
+	clear(p.groups[len(kept):])
+	p.groups, p.sorted = kept, true
+	if refresh {
+		p.rankedAt = now
+	}
+	slices.SortFunc(p.groups, func(a, b *taskGroup) int {
+		return cmp.Or(cmp.Compare(a.rank.Class, b.rank.Class), cmp.Compare(a.rank.Key, b.rank.Key),
+			cmp.Compare(a.rank.Seq, b.rank.Seq), cmp.Compare(a.key.step, b.key.step))
+	})
+}
+
+// queueDueOccurrences queues the occurrences that have become due.
+func (s *Scheduler[P, H]) queueDueOccurrences(now clock.Millis) {
+	for s.scheduled.Len() > 0 && s.scheduled.Top().dueAt <= now {
+		l := s.scheduled.Pop()
+		if r := s.State.Jobs[l.job]; r != nil && !r.Status.Final() {
+			s.queueOccurrence(r, l.occurrence, now)
+		}
+	}
+}
--- /dev/null
+++ b/core/state/sched/rebalance.go
@@ -0,0 +1,496 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// Timing of machine moves between pools.
+const (
+	// rebalancePeriodMillis is the interval between two checks of the load of
+	// the pools.
+	rebalancePeriodMillis clock.Millis = 200
+	// listRetryMillis is the interval between two requests for the list of
+	// machines before the first success, and listPeriodMillis after it.
+	listRetryMillis  = clock.Second
+	listPeriodMillis = 20 * clock.Second
+	// moveTimeoutMillis is how long a move may take before the scheduler gives
+	// up on it.
+	moveTimeoutMillis = 5 * clock.Second
+	// moveRetryMillis is the pause before a machine is moved again after its
+	// move was refused.
+	moveRetryMillis = clock.Second
+	// unplacedWaitMillis is how long a long-running task waits before its pool
+	// requests another machine for it. It covers the longest delay of a reply
+	// to a heartbeat.
+	unplacedWaitMillis clock.Millis = 800
+	// loadNotePeriodMillis is the interval between two notes about the load of
+	// the pools.
+	loadNotePeriodMillis = 2 * clock.Second
+)
+
+// machineFleet is the state of the machines apart from their workers.
+type machineFleet struct {
+	// standby holds the machines that are powered off, with their standby pool.
+	standby map[jobs.MachineID]jobs.PoolName
+	// moves holds the machines that are being moved. notMovableUntil holds the
+	// time before which a machine is not moved, after a refused or unanswered
+	// move or a move to standby.
+	moves           map[jobs.MachineID]machineMove
+	notMovableUntil map[jobs.MachineID]clock.Millis
+	// machineSize is the capacity of the largest machine seen.
+	machineSize jobs.Resources
+	// listPending is set while a request for the list of machines is pending.
+	listPending bool
+	// listFailed is set once a request for the list has failed. listRequestedAt
+	// is the time of the latest request, and listedAt that of the latest list;
+	// 0 for none.
+	listFailed      bool
+	listRequestedAt clock.Millis
+	listedAt        clock.Millis
+	// hadFiniteWork is set once a job without long-running tasks was submitted.
+	hadFiniteWork bool
+	// nextRebalance is the time of the next check of the load, and notedAt that
+	// of the latest notes about it.
+	nextRebalance clock.Millis
+	notedAt       clock.Millis
+}
+
+// machineMove is the move of a machine to another pool.
+type machineMove struct {
+	to jobs.PoolName
+	// incarnation is that of the machine's worker when the move was ordered; 0
+	// for no worker.
+	incarnation jobs.Incarnation
+	orderedAt   clock.Millis
+}
+
+func newMachineFleet() machineFleet {
+	return machineFleet{
+		standby: map[jobs.MachineID]jobs.PoolName{}, moves: map[jobs.MachineID]machineMove{}, notMovableUntil: map[jobs.MachineID]clock.Millis{},
+	}
+}
+
+// poolLoad is the load of one pool.
+type poolLoad struct {
+	name jobs.PoolName
+	// machines counts the usable machines of the pool and those being moved to
+	// it. needed is the number of machines that can start its waiting work in
+	// time.
+	machines int
+	needed   int
+	// idle lists the workers that run nothing, the longest idle first. busy
+	// lists the workers that run only tasks that end, those being vacated and
+	// then the least busy first.
+	idle []*worker
+	busy []*worker
+}
+
+// rebalance moves machines to pools whose waiting work does not start in time:
+// first machines that are powered off, then idle machines of other pools.
+// Machines that stay idle are moved to the standby pool. It is designed for
+// pools whose loads rise in turn to several times their mean for some seconds,
+// while a move takes about a second and a half.
+func (s *Scheduler[P, H]) rebalance(now clock.Millis) {
+	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance || now < s.termStart+s.settings.TakeoverDelayMillis {
+		return
+	}
+	s.fleet.nextRebalance = now + rebalancePeriodMillis
+	standby := s.standbyPool()
+	if standby == "" || !s.refreshMachineList(now) {
+		return
+	}
+	for m, move := range s.fleet.moves {
+		if now-move.orderedAt > moveTimeoutMillis {
+			delete(s.fleet.moves, m)
+			s.makeAvailable(s.workerByMachine[m], move.incarnation)
+		}
+	}
+	loads := s.poolLoads(now)
+	s.noteLoads(loads, now)
+	missing := 0
+	for _, load := range loads {
+		for n := load.needed - load.machines; n > 0; n-- {
+			if !s.bringMachine(load, loads, now) {
+				missing += n
+				break
+			}
+		}
+	}
+	s.vacateWorkers(loads, missing)
+	if s.hadFiniteWork() {
+		s.releaseIdle(loads, standby, now)
+	}
+}
+
+// hadFiniteWork reports whether a job without long-running tasks was submitted.
+// Without this check a newly started fleet would be powered off just before its
+// first load.
+func (s *Scheduler[P, H]) hadFiniteWork() bool {
+	if !s.fleet.hadFiniteWork {
+		for _, r := range s.State.Jobs {
+			s.fleet.hadFiniteWork = s.fleet.hadFiniteWork || !hasLongRunningStep(&r.Job)
+		}
+	}
+	return s.fleet.hadFiniteWork
+}
+
+// noteLoads adds a note on the load of each pool to the plan every few seconds.
+func (s *Scheduler[P, H]) noteLoads(loads []*poolLoad, now clock.Millis) {
+	if now < s.fleet.notedAt+loadNotePeriodMillis {
+		return
+	}
+	s.fleet.notedAt = now
+	for _, load := range loads {
+		serving := 0
+		for _, w := range s.workers {
+			if w.pool == load.name && w.hasLongRunning() {
+				serving++
+			}
+		}
+		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
+			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
+			load.name, load.machines, load.needed, len(load.idle), serving, s.pool(load.name).waitingWork()/1000))
+	}
+}
+
+// hasLongRunning reports whether the worker runs a long-running task.
+func (w *worker) hasLongRunning() bool {
+	for _, r := range w.runs {
+		if r.step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// standbyPool returns the pool whose machines are powered off; empty for none.
+func (s *Scheduler[P, H]) standbyPool() jobs.PoolName {
+	for _, p := range s.State.Config.Pools {
+		if p.Standby {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+// refreshMachineList requests the list of machines when the latest one is old.
+// It reports whether a list was received, or a request failed, in this term.
+func (s *Scheduler[P, H]) refreshMachineList(now clock.Millis) bool {
+	f := &s.fleet
+	interval := listPeriodMillis
+	if f.listedAt == 0 {
+		interval = listRetryMillis
+	}
+	if !f.listPending && (f.listRequestedAt == 0 || now-f.listRequestedAt >= interval) {
+		f.listPending, f.listRequestedAt = true, now
+		s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionListMachines})
+	}
+	return f.listedAt != 0 || f.listFailed
+}
+
+// handleMachineList processes the list of machines.
+func (s *Scheduler[P, H]) handleMachineList(outcome Outcome, now clock.Millis) {
+	f := &s.fleet
+	f.listPending = false
+	if outcome.Answer != AnswerDone {
+		// Without a list the standby machines are unknown, but machines can
+		// still be moved between pools.
+		f.listFailed = true
+		s.noteFleet(DecisionListFailed, outcome.String())
+		return
+	}
+	f.listedAt = now
+	standby := map[jobs.PoolName]bool{}
+	for _, p := range s.State.Config.Pools {
+		standby[p.Name] = p.Standby
+	}
+	clear(f.standby)
+	listed := make(map[jobs.MachineID]bool, len(outcome.Machines))
+	for _, m := range outcome.Machines {
+		listed[m.ID] = true
+		if f.machineSize.MilliCores < m.Capacity.MilliCores {
+			f.machineSize = m.Capacity
+		}
+		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Up && !moving {
+			f.standby[m.ID] = m.Pool
+		}
+	}
+	if len(listed) > 0 {
+		s.dropMissingMachines(listed, now)
+	}
+}
+
+// poolLoads measures the pools that are not standby pools and returns them
+// ordered by the number of missing machines, the most first.
+func (s *Scheduler[P, H]) poolLoads(now clock.Millis) []*poolLoad {
+	byPool := map[jobs.PoolName]*poolLoad{}
+	for _, p := range s.State.Config.Pools {
+		if !p.Standby {
+			byPool[p.Name] = &poolLoad{name: p.Name}
+		}
+	}
+	busyMilliCores := map[jobs.PoolName]clock.Millis{}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[id]
+		load := byPool[w.pool]
+		if load == nil || !w.reported || w.draining || w.goingDown || w.leaseUntil < now {
+			continue
+		}
+		s.fleet.machineSize.MilliCores = max(s.fleet.machineSize.MilliCores, w.capacity.MilliCores)
+		load.machines++
+		if w.cordoned || w.quarantinedUntil > now {
+			load.machines--
+			continue
+		}
+		busyMilliCores[w.pool] += w.load(now, s.settings.BacklogTargetMillis)
+		if len(w.runs)+len(w.unassigned) == 0 {
+			if w.idleSince == 0 {
+				w.idleSince = now
+			}
+			load.idle = append(load.idle, w)
+			w.vacating = false
+		} else {
+			w.idleSince = 0
+			if !w.hasLongRunning() {
+				load.busy = append(load.busy, w)
+			}
+		}
+	}
+	for _, move := range s.fleet.moves {
+		if load := byPool[move.to]; load != nil {
+			load.machines++
+		}
+	}
+	if s.fleet.machineSize.MilliCores == 0 {
+		return nil
+	}
+	perMachine := s.fleet.machineSize.MilliCores
+	for name, load := range byPool {
+		p := s.pool(name)
+		p.updateArrivalRate()
+		neededMilliCores := int(busyMilliCores[name] + p.waitingWork()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
+		load.needed = (neededMilliCores + perMachine - 1) / perMachine
+		if n := s.pool(name).unplacedMachines(now); n > 0 {
+			load.needed = max(load.needed, load.machines+n)
+		}
+		slices.SortStableFunc(load.busy, func(x, y *worker) int {
+			return cmp.Or(-compareBool(x.vacating, y.vacating), cmp.Compare(x.used.MilliCores, y.used.MilliCores))
+		})
+		slices.SortStableFunc(load.idle, func(x, y *worker) int { return cmp.Compare(x.idleSince, y.idleSince) })
+	}
+	return slices.SortedFunc(maps.Values(byPool), func(x, y *poolLoad) int {
+		return cmp.Or(cmp.Compare(y.needed-y.machines, x.needed-x.machines), cmp.Compare(x.name, y.name))
+	})
+}
+
+// unplacedMachines returns the number of machines that waiting long-running
+// tasks still need after no available worker could take them, mostly because
+// the number of tasks of a step on one worker is limited.
+func (p *pool) unplacedMachines(now clock.Millis) int {
+	n := 0
+	for _, g := range p.groups {
+		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.waitingSince > unplacedWaitMillis {
+			perMachine := max(g.step.MaxPerWorker, 1)
+			n = max(n, (len(g.waiting)+perMachine-1)/perMachine)
+		}
+	}
+	return n
+}
+
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
+// finiteWork returns the work of some tasks of a step, each of the given
+// duration, in milli-cores times milliseconds; 0 for long-running and
+// best-effort tasks.
+func finiteWork(step *jobs.Step, tasks int, duration clock.Millis) clock.Millis {
+	if step.LongRunning || step.BestEffort {
+		return 0
+	}
+	return clock.Millis(tasks*step.Resources.MilliCores) * duration
+}
+
+// load returns the milli-cores that the worker's tasks need to finish within
+// the given time: the whole reservation of a long-running task, and the
+// remaining work of other tasks divided by that time.
+func (w *worker) load(now, within clock.Millis) clock.Millis {
+	sum := clock.Millis(0)
+	for _, r := range w.runs {
+		if r.step.LongRunning {
+			sum += clock.Millis(reservation(r.step).MilliCores)
+			continue
+		}
+		sum += finiteWork(r.step, 1, max(r.assignedAt+r.step.Estimate-now, 0)) / within
+	}
+	return sum
+}
+
+// arrivalRateWeight is the weight of the latest sample in the moving average of
+// the arrival rate.
+const arrivalRateWeight = 0.3
+
+// updateArrivalRate adds the work that arrived since the last call to the
+// moving average.
+func (p *pool) updateArrivalRate() {
+	p.arrivalRate += arrivalRateWeight * (float64(p.newWork/rebalancePeriodMillis) - p.arrivalRate)
+	p.newWork = 0
+}
+
+// waitingWork returns the waiting work of a pool that can still meet its
+// deadline, in milli-cores times milliseconds.
+func (p *pool) waitingWork() clock.Millis {
+	sum := clock.Millis(0)
+	for _, g := range p.groups {
+		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
+			continue
+		}
+		duration := g.step.Estimate
+		if g.step.LongRunning {
+			// A long-running task never releases its resources, so its duration
+			// is nominal.
+			duration = clock.Second
+		}
+		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * duration
+	}
+	return sum
+}
+
+// bringMachine moves one machine to a pool: a standby machine or, if there is
+// none, the longest idle machine of a pool that has more than it needs. It
+// reports whether it found one.
+func (s *Scheduler[P, H]) bringMachine(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
+	for _, m := range slices.Sorted(maps.Keys(s.fleet.standby)) {
+		if s.fleet.notMovableUntil[m] <= now && !s.inWave(m) {
+			delete(s.fleet.standby, m)
+			s.orderMove(m, 0, target, now)
+			return true
+		}
+	}
+	for i := len(loads) - 1; i >= 0; i-- {
+		from := loads[i]
+		if from == target || from.machines-from.needed <= s.settings.ReserveMachines {
+			continue
+		}
+		for k, w := range from.idle {
+			if s.fleet.notMovableUntil[w.machine] > now || w.machine == "" {
+				continue
+			}
+			from.idle = slices.Delete(from.idle, k, k+1)
+			from.machines--
+			w.goingDown = true
+			s.orderMove(w.machine, w.incarnation, target, now)
+			return true
+		}
+	}
+	return false
+}
+
+// vacateWorkers keeps new tasks off busy workers of pools that have more
+// machines than they need, up to the number of machines that other pools are
+// missing. Otherwise tasks of a second or two would keep each of these workers
+// slightly busy for as long as its pool has any work, and its machine could not
+// be moved.
+func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
+	for i := len(loads) - 1; i >= 0; i-- {
+		load := loads[i]
+		surplus := load.machines - load.needed - s.settings.ReserveMachines
+		for _, w := range load.busy {
+			w.vacating = missing > 0 && surplus > 0
+			s.dirtyPools[s.pool(w.pool)] = true
+			if w.vacating {
+				missing--
+				surplus--
+			}
+		}
+	}
+}
+
+// releaseIdle moves machines that stay idle to the standby pool.
+func (s *Scheduler[P, H]) releaseIdle(loads []*poolLoad, standby jobs.PoolName, now clock.Millis) {
+	target := &poolLoad{name: standby}
+	for _, load := range loads {
+		for _, w := range load.idle {
+			if w.goingDown || w.machine == "" || load.machines-load.needed <= s.settings.ReserveMachines || now-w.idleSince < s.settings.IdleMillis || s.fleet.notMovableUntil[w.machine] > now {
+				continue
+			}
+			load.machines--
+			w.goingDown = true
+			s.orderMove(w.machine, w.incarnation, target, now)
+		}
+	}
+}
+
+// inWave reports whether a machine may be down for a wave. Such a machine is
+// not moved.
+func (s *Scheduler[P, H]) inWave(m jobs.MachineID) bool {
+	for _, v := range s.waves {
+		if _, isDown := v.down[m]; isDown || v.pending[m] {
+			return true
+		}
+	}
+	return false
+}
+
+// orderMove orders the move of a machine. incarnation is that of its worker; 0
+// for none.
+func (s *Scheduler[P, H]) orderMove(m jobs.MachineID, incarnation jobs.Incarnation, to *poolLoad, now clock.Millis) {
+	to.machines++
+	s.fleet.moves[m] = machineMove{to: to.name, incarnation: incarnation, orderedAt: now}
+	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
+}
+
+// handleMove processes the platform's answer to a move.
+func (s *Scheduler[P, H]) handleMove(action Action, outcome Outcome, now clock.Millis) {
+	move, ok := s.fleet.moves[action.Machine]
+	if !ok || move.to != action.Pool {
+		return
+	}
+	w := s.workerByMachine[action.Machine]
+	sameIncarnation := w != nil && w.incarnation == move.incarnation
+	if outcome.Answer != AnswerDone {
+		s.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to %s: %s", action.Machine, action.Pool, outcome))
+	}
+	switch outcome.Answer {
+	case AnswerDone:
+		s.noteFleet(DecisionMachineMoved, string(action.Machine)+" to "+string(action.Pool))
+		if sameIncarnation {
+			s.dropWorker(w, "its machine is moved", now)
+		}
+		if action.Pool == s.standbyPool() {
+			delete(s.fleet.moves, action.Machine)
+			s.fleet.standby[action.Machine] = action.Pool
+			s.fleet.notMovableUntil[action.Machine] = now + s.settings.MoveMillis
+		}
+	case AnswerUnknown:
+		s.fleet.notMovableUntil[action.Machine] = now + moveTimeoutMillis
+	default:
+		delete(s.fleet.moves, action.Machine)
+		s.fleet.notMovableUntil[action.Machine] = now + moveRetryMillis
+		if sameIncarnation {
+			w.goingDown = false
+		}
+	}
+}
+
+// machineArrived ends the move of a machine whose worker has reported from the
+// target pool.
+func (s *Scheduler[P, H]) machineArrived(w *worker) {
+	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation != w.incarnation && move.to == w.pool {
+		delete(s.fleet.moves, w.machine)
+	}
+	delete(s.fleet.standby, w.machine)
+}
--- /dev/null
+++ b/core/state/sched/scheduler.go
@@ -0,0 +1,367 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/heap"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
+)
+
+// Scheduler holds the leader's view of the workers and of the waiting work. It
+// is not safe for concurrent use.
+type Scheduler[P RankPolicy, H place.HealthPolicy] struct {
+	settings     Settings
+	rankPolicy   P
+	healthPolicy H
+	// State is the leader's copy. It is ahead of the committed state by the
+	// operations that are not committed yet.
+	State   *jobs.State
+	workers map[jobs.WorkerID]*worker
+	// workerByMachine holds the latest worker of each machine.
+	workerByMachine map[jobs.MachineID]*worker
+	// removedIncarnations holds the latest removed incarnation of each worker.
+	// Its late heartbeats are rejected.
+	removedIncarnations map[jobs.WorkerID]jobs.Incarnation
+	// lastFailedOn holds the worker on which a task failed last.
+	lastFailedOn map[jobs.TaskID]jobs.WorkerID
+	pools        map[jobs.PoolName]*pool
+	// poolByQueue maps the configured queues to their pools.
+	poolByQueue map[jobs.QueueName]jobs.PoolName
+	// configVersion is the version of the configuration that poolByQueue and
+	// adviceRules were built from.
+	configVersion uint64
+	// adviceRules holds the policies of the configured queues that have advice.
+	adviceRules map[jobs.QueueName]jobs.AdvicePolicy
+	advice      adviceState
+	// now is the latest time that a call has passed.
+	now clock.Millis
+	// termStart is when this process became leader.
+	termStart clock.Millis
+	waves     map[int]*wave
+	fleet     machineFleet
+	// scheduled holds the occurrences that are not due yet.
+	scheduled heap.Heap[scheduledOccurrence]
+	// replyDeadlines orders the heartbeats by the time at which they must be
+	// answered. Entries of heartbeats that were answered since, or whose time
+	// was brought forward, are skipped.
+	replyDeadlines heap.Heap[replyDeadline]
+	// leaseEnds orders the workers by the end of their lease. An entry whose
+	// lease was renewed since is pushed again when the old end is reached.
+	leaseEnds heap.Heap[leaseEnd]
+	// dirtyPools holds the pools that the next pass has to look at because of a
+	// newly available worker or new waiting work.
+	dirtyPools map[*pool]bool
+	// nextMaintenance is when the waves are advanced next.
+	nextMaintenance clock.Millis
+	plan            Plan
+}
+
+// replyDeadline is the time at which a heartbeat must be answered.
+type replyDeadline struct {
+	at        clock.Millis
+	heartbeat *pendingHeartbeat
+	w         *worker
+}
+
+// Before orders by time, then worker ID.
+func (d replyDeadline) Before(e replyDeadline) bool {
+	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.w.id, e.w.id)) < 0
+}
+
+// leaseEnd is the end of a worker's lease.
+type leaseEnd struct {
+	at clock.Millis
+	w  *worker
+}
+
+// Before orders by time, then worker ID.
+func (d leaseEnd) Before(e leaseEnd) bool {
+	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.w.id, e.w.id)) < 0
+}
+
+// worker is one incarnation of a worker.
+type worker struct {
+	id          jobs.WorkerID
+	incarnation jobs.Incarnation
+	machine     jobs.MachineID
+	pool        jobs.PoolName
+	zone        string
+	rack        string
+	labels      []string
+	seq         int64
+	capacity    jobs.Resources
+	used        jobs.Resources
+	draining    bool
+	// reported is set once the worker has sent a heartbeat in this term.
+	reported bool
+	// leaseUntil is the end of the longest lease that the worker may have.
+	leaseUntil clock.Millis
+	runs       map[jobs.TaskID]*run
+	// unassigned holds the runs that the worker lists and that are not assigned
+	// to it.
+	unassigned map[jobs.TaskID]unassignedRun
+	// heartbeat is the heartbeat that waits for its reply; nil for none.
+	heartbeat *pendingHeartbeat
+	// cordoned keeps new tasks off a worker whose machine is to be maintained.
+	// goingDown is set once the maintenance or a move is ordered; from then on
+	// the worker's tasks count as unavailable.
+	cordoned  bool
+	goingDown bool
+	// failedJobsInRow counts the consecutive jobs whose tasks failed on this
+	// worker. lastFailedJob is the latest of them.
+	failedJobsInRow int
+	lastFailedJob   jobs.ID
+	// vacating keeps new tasks off a worker whose machine another pool needs.
+	// The machine is moved once the running tasks have ended.
+	vacating bool
+	// leaseExpired is set from the end of the lease until the next heartbeat.
+	leaseExpired bool
+	speed        speed
+	// idleSince is the time since which the worker has run nothing; 0 if it
+	// runs something.
+	idleSince clock.Millis
+	// failureScore is the evidence that the worker itself is faulty. The worker
+	// is quarantined until quarantinedUntil.
+	failureScore     float64
+	quarantinedUntil clock.Millis
+}
+
+// unassignedRun is a run that a worker lists although it is not assigned to it.
+type unassignedRun struct {
+	run       int
+	resources jobs.Resources
+}
+
+// pendingHeartbeat is a heartbeat whose reply is delayed until replyBy.
+type pendingHeartbeat struct {
+	// replyBy is valid if hasReplyBy is set; it can only be brought forward.
+	replyBy    clock.Millis
+	hasReplyBy bool
+	ackUpTo    int64
+	starts     []Start
+	stops      []Stop
+	throttles  []Throttle
+	// urgent is set if the reply must not be delayed.
+	urgent bool
+}
+
+// run is a task that is assigned to a worker.
+type run struct {
+	task   jobs.TaskID
+	number int
+	rec    *jobs.Record
+	step   *jobs.Step
+	// listed is set if the worker's latest heartbeat lists the run.
+	listed     bool
+	percent    int
+	load       int
+	checkpoint string
+	// assignedAt is when the run was assigned. progressedAt is when its
+	// progress was last seen to change.
+	assignedAt   clock.Millis
+	progressedAt clock.Millis
+	stopping     bool
+	stopReason   string
+}
+
+// New returns the scheduler of a leader whose term starts at now, with the
+// committed state. Assigned tasks may run on their worker until the longest
+// possible lease has ended, even if the worker never sends a heartbeat.
+func New[P RankPolicy, H place.HealthPolicy](settings Settings, policy P, health H, state *jobs.State, now clock.Millis) *Scheduler[P, H] {
+	s := &Scheduler[P, H]{
+		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
+		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
+		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{},
+		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, lastFailedOn: map[jobs.TaskID]jobs.WorkerID{},
+		advice: newAdviceState(),
+	}
+	s.readConfig()
+	for _, r := range state.Jobs {
+		s.restoreJob(r, now)
+	}
+	for number := range state.Waves {
+		s.waves[number] = newWave(state.Waves[number])
+	}
+	return s
+}
+
+// restoreJob adds a job that was accepted before this term.
+func (s *Scheduler[P, H]) restoreJob(r *jobs.Record, now clock.Millis) {
+	for id, state := range r.Tasks() {
+		if state.Phase != jobs.PhaseAssigned {
+			continue
+		}
+		w := s.workers[state.Worker]
+		if w == nil || w.incarnation < state.Incarnation {
+			w = &worker{
+				id: state.Worker, incarnation: state.Incarnation, pool: r.Pool, runs: map[jobs.TaskID]*run{},
+				leaseUntil: now + s.maxLease(), speed: unknownSpeed(),
+			}
+			s.workers[state.Worker] = w
+			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
+		}
+		s.addRun(w, &run{task: id, number: state.Run, rec: r, step: &r.Steps[id.Step], assignedAt: now, progressedAt: now})
+	}
+	s.stopBrokenGangs(r)
+	s.queueJob(r, now)
+}
+
+// maxLease returns the longest duration of a lease on the leader's clock, if
+// the worker's clock is as slow as allowed.
+func (s *Scheduler[P, H]) maxLease() clock.Millis {
+	return s.settings.LeaseMillis + s.settings.LeaseMillis*s.settings.DriftPermille/1000
+}
+
+func (s *Scheduler[P, H]) addRun(w *worker, r *run) {
+	w.runs[r.task] = r
+	w.used = w.used.Plus(reservation(r.step))
+}
+
+func (s *Scheduler[P, H]) removeRun(w *worker, r *run) {
+	delete(w.runs, r.task)
+	w.used = w.used.Minus(reservation(r.step))
+}
+
+// reservation returns the resources that a task reserves on its worker. A
+// best-effort task reserves no processors.
+func reservation(step *jobs.Step) jobs.Resources {
+	resources := step.Resources
+	if step.BestEffort {
+		resources.MilliCores = 0
+	}
+	return resources
+}
+
+// apply applies the operation to the leader's copy and adds it to the plan.
+func (s *Scheduler[P, H]) apply(op jobs.Op, now clock.Millis) {
+	s.State.Apply([]jobs.Op{op}, max(now, s.State.Time))
+	s.plan.Ops = append(s.plan.Ops, op)
+}
+
+// PendingOps returns the number of operations since the last plan.
+func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
+
+// readConfig rebuilds poolByQueue and adviceRules when a new configuration is
+// in force.
+func (s *Scheduler[P, H]) readConfig() {
+	c := &s.State.Config
+	if s.poolByQueue != nil && c.Version == s.configVersion {
+		return
+	}
+	s.configVersion = c.Version
+	s.poolByQueue = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
+	s.adviceRules = map[jobs.QueueName]jobs.AdvicePolicy{}
+	for _, q := range c.Queues {
+		s.poolByQueue[q.Name] = q.Pool
+		if q.Advice.TicketValidity > 0 {
+			s.adviceRules[q.Name] = q.Advice
+		}
+	}
+}
+
+// poolOf returns the pool that runs a job: the pool of its queue or, if the
+// queue was removed, the pool at submission.
+func (s *Scheduler[P, H]) poolOf(r *jobs.Record) jobs.PoolName {
+	if p, ok := s.poolByQueue[r.Queue]; ok {
+		return p
+	}
+	return r.Pool
+}
+
+// Submit accepts a job. It has no effect if the job ID is known.
+func (s *Scheduler[P, H]) Submit(j jobs.Job, now clock.Millis) {
+	if s.State.Jobs[j.ID] != nil {
+		return
+	}
+	j.AcceptedAt = max(now, s.State.Time)
+	s.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
+	rec := s.State.Jobs[j.ID]
+	s.queueJob(rec, now)
+	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
+		j.Queue, s.State.Config.Version, len(j.Steps), Deadline(rec, 0)-now), false)
+}
+
+// noteJobEnd explains the final status of a job: how long it took, by how much
+// it was late, and how many runs it needed.
+func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
+	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
+	s.forgetAdvice(rec)
+	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
+	if lateness > 0 && rec.Status == jobs.StatusCompleted {
+		reason += fmt.Sprintf(", %d ms late", lateness)
+	}
+	runs, failures := 0, 0
+	for id, state := range rec.Tasks() {
+		runs += state.Run
+		if id.Index == 0 {
+			failures += rec.Failures(id.Occurrence, id.Step)
+		}
+	}
+	reason += fmt.Sprintf(", %d runs, %d of them failed", runs, failures)
+	s.noteJob(finalDecision(rec.Status), rec, reason, lateness > 0 || rec.Status == jobs.StatusFailed)
+}
+
+// Cancel cancels a job that has not ended. It returns false if the job is
+// unknown.
+func (s *Scheduler[P, H]) Cancel(id jobs.ID, now clock.Millis) bool {
+	r := s.State.Jobs[id]
+	if r == nil {
+		return false
+	}
+	if !r.Status.Final() {
+		s.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
+		s.noteJobEnd(r, now)
+		s.stopJobRuns(r)
+	}
+	return true
+}
+
+// stopJobRuns stops all runs of a job that has ended.
+func (s *Scheduler[P, H]) stopJobRuns(r *jobs.Record) {
+	for id, state := range r.Tasks() {
+		if w, x := s.assignedRun(id, state); x != nil {
+			s.stopRun(w, x, r.Status.String())
+		}
+	}
+}
+
+// assignedRun returns the run of an assigned task and its worker. Both are nil
+// if the task is not assigned or its worker is unknown; the run is nil if the
+// worker no longer has it.
+func (s *Scheduler[P, H]) assignedRun(id jobs.TaskID, state *jobs.TaskState) (*worker, *run) {
+	w := s.workers[state.Worker]
+	if state.Phase != jobs.PhaseAssigned || w == nil {
+		return nil, nil
+	}
+	return w, w.runs[id]
+}
+
+// Configure puts a configuration into force if it is newer than the current
+// one.
+func (s *Scheduler[P, H]) Configure(c jobs.Config, now clock.Millis) {
+	if c.Version <= s.State.Config.Version {
+		return
+	}
+	s.apply(jobs.Op{Kind: jobs.OpConfig, Config: &c}, now)
+	s.readConfig()
+	s.reassignPools()
+}
+
+// PendingJobs returns the number of accepted jobs of a queue that have started
+// no task, without scheduled jobs.
+func (s *Scheduler[P, H]) PendingJobs(q jobs.QueueName) int {
+	n := 0
+	for _, p := range s.pools {
+		seen := map[jobs.ID]bool{}
+		for _, g := range p.groups {
+			if g.rec.Queue == q && !g.rec.EverAssigned && g.rec.OccurrenceCount == 0 && !g.rec.Status.Final() && !seen[g.rec.ID] {
+				seen[g.rec.ID] = true
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/state/sched/simulation_test.go
@@ -0,0 +1,509 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
+)
+
+// Parameters of the simulated fleet.
+const (
+	stepMillis          clock.Millis = 20
+	replyTimeoutMillis               = clock.Second
+	maxConfirmAgeMillis clock.Millis = 300
+	gangTimeoutMillis                = 3 * clock.Second
+	simMaxAttempts                   = 3
+)
+
+type testScheduler = Scheduler[EarliestDeadline, place.PeerComparison]
+
+// simLeader is a process that leads or believes that it does. Its scheduler is
+// ahead of the committed state until its operations are committed.
+type simLeader struct {
+	scheduler   *testScheduler
+	token       uint64
+	confirmedAt clock.Millis
+}
+
+// simWorker is one incarnation of a simulated worker. It follows the worker
+// protocol: orders with an old token have no effect, a run number is used only
+// once, and all runs end when the lease expires.
+type simWorker struct {
+	id          jobs.WorkerID
+	incarnation jobs.Incarnation
+	machine     jobs.MachineID
+	seq         int64
+	token       uint64
+	leaseUntil  clock.Millis
+	runs        map[jobs.TaskID]*simRun
+	// closed holds the highest run number that was stopped or has ended, by
+	// task.
+	closed  map[jobs.TaskID]int
+	ends    []RunEnd
+	lastEnd int64
+	// heartbeatLeader is the leader that accepted the pending heartbeat.
+	heartbeatLeader *simLeader
+	// sentAt is when the pending heartbeat was sent; 0 for none.
+	sentAt        clock.Millis
+	nextHeartbeat clock.Millis
+	capacity      jobs.Resources
+	down          bool
+	// The runs of failing workers all fail, and those of stuck workers make no
+	// progress.
+	failing, stuck bool
+	draining       bool
+}
+
+type simRun struct {
+	run        int
+	startedAt  clock.Millis
+	duration   clock.Millis
+	fails      bool
+	checkpoint string
+	// formed is set once all tasks of the run's gang were running.
+	formed bool
+}
+
+// simReply is a reply in transit to a worker.
+type simReply struct {
+	to        *simWorker
+	orders    Orders
+	lease     clock.Millis
+	token     uint64
+	sentAt    clock.Millis
+	arrivesAt clock.Millis
+}
+
+// failedRun identifies a run by its task or, for a gang, by the first task of
+// the gang.
+type failedRun struct {
+	task jobs.TaskID
+	run  int
+}
+
+// simulation runs simulated workers against changing leaders and checks
+// invariants.
+type simulation struct {
+	rand      *rand.Rand
+	now       clock.Millis
+	committed *jobs.State
+	leader    *simLeader
+	// stale is an earlier leader that has not noticed yet that it no longer
+	// leads.
+	stale   *simLeader
+	token   uint64
+	workers []*simWorker
+	replies []simReply
+	// done holds the tasks that were recorded as done.
+	done  map[jobs.TaskID]bool
+	fails map[jobs.TaskID]int
+	// failed holds the runs that are counted in fails.
+	failed          map[failedRun]bool
+	submitted       int
+	nextIncarnation jobs.Incarnation
+	settings        Settings
+	err             error
+	// faultsOff turns off all injected faults.
+	faultsOff bool
+}
+
+func newSimulation(seed uint64) *simulation {
+	sim := &simulation{
+		rand: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
+		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, nextIncarnation: 1, settings: Defaults(),
+	}
+	sim.settings.BacklogTargetMillis = 0
+	sim.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
+		Version: 1, Pools: []jobs.Pool{{Name: "p", AdmissionControl: true}},
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: simMaxAttempts, Target: 3000, StretchPermille: 1500}},
+	}}}, sim.now)
+	for n := range 4 {
+		sim.workers = append(sim.workers, sim.newWorker(n))
+	}
+	sim.elect()
+	return sim
+}
+
+func (sim *simulation) newWorker(n int) *simWorker {
+	sim.nextIncarnation++
+	return &simWorker{
+		id: jobs.WorkerID(fmt.Sprint("w", n)), incarnation: sim.nextIncarnation, machine: jobs.MachineID(fmt.Sprint("m", n)),
+		runs: map[jobs.TaskID]*simRun{}, closed: map[jobs.TaskID]int{}, capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
+		failing: !sim.faultsOff && sim.rand.IntN(20) == 0, stuck: !sim.faultsOff && sim.rand.IntN(30) == 0,
+	}
+}
+
+// elect makes a new leader. The previous one may continue for a while without
+// being able to commit.
+func (sim *simulation) elect() {
+	sim.token++
+	sim.stale = sim.leader
+	sim.leader = &simLeader{
+		scheduler: New(sim.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, sim.committed.Clone(), sim.now),
+		token:     sim.token, confirmedAt: sim.now,
+	}
+}
+
+func (sim *simulation) failf(format string, args ...any) {
+	if sim.err == nil {
+		sim.err = fmt.Errorf("at %d ms: "+format, append([]any{sim.now}, args...)...)
+	}
+}
+
+// step simulates one time step.
+func (sim *simulation) step() {
+	sim.now += stepMillis
+	sim.deliver()
+	sim.updateGangs()
+	for n, w := range sim.workers {
+		sim.stepWorker(n, w)
+	}
+	if sim.rand.IntN(8) == 0 && sim.submitted < 12 && !sim.faultsOff {
+		sim.submit()
+	}
+	if !sim.faultsOff {
+		sim.injectFault()
+	}
+	sim.runPass(sim.leader, true)
+	if sim.stale != nil {
+		sim.runPass(sim.stale, false)
+		if sim.now-sim.stale.confirmedAt > 2*clock.Second {
+			sim.stale = nil
+		}
+	}
+	sim.checkSingleRuns()
+}
+
+func (sim *simulation) submit() {
+	sim.submitted++
+	j := jobs.Job{
+		ID: jobs.ID(fmt.Sprint("j", sim.submitted)), Queue: "q", Pool: "p", MaxAttempts: simMaxAttempts, Target: 3000, StretchPermille: 1500,
+		Steps: []jobs.Step{
+			{TaskCount: 1 + sim.rand.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400},
+			{TaskCount: 1 + sim.rand.IntN(3), Resources: jobs.Resources{MilliCores: 1500, MemoryMiB: 100}, Estimate: 300, DependsOn: []int{0}, Checkpoints: true},
+		},
+	}
+	if sim.rand.IntN(6) == 0 {
+		j.Steps = []jobs.Step{{TaskCount: 3, Resources: jobs.Resources{MilliCores: 500, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}}
+	}
+	if sim.rand.IntN(5) == 0 {
+		j.Steps[0] = jobs.Step{
+			TaskCount: 2 + sim.rand.IntN(3), Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 500}, Estimate: 400, Gang: true, Checkpoints: true,
+			SameRack: sim.rand.IntN(2) == 0,
+		}
+	}
+	if sim.rand.IntN(6) == 0 {
+		j.OccurrenceCount, j.FirstDue, j.Interval = 2, sim.now+clock.Millis(sim.rand.IntN(2000)), 500
+	}
+	sim.leader.scheduler.Submit(j, sim.now)
+	// A submitter resends a request that was not answered.
+	if sim.rand.IntN(3) == 0 {
+		sim.leader.scheduler.Submit(j, sim.now)
+	}
+}
+
+// injectFault injects a random fault, or none.
+func (sim *simulation) injectFault() {
+	switch sim.rand.IntN(400) {
+	case 0:
+		sim.elect()
+	case 1, 2:
+		n := sim.rand.IntN(len(sim.workers))
+		sim.workers[n].down = true
+		sim.workers[n] = sim.newWorker(n)
+	case 3:
+		sim.leader.scheduler.Cancel(jobs.ID(fmt.Sprint("j", 1+sim.rand.IntN(12))), sim.now)
+	case 4:
+		// A network partition: the leader receives no heartbeat of the worker
+		// for seconds.
+		w := sim.workers[sim.rand.IntN(len(sim.workers))]
+		w.nextHeartbeat = sim.now + clock.Millis(sim.rand.IntN(9000))
+	case 5:
+		sim.workers[sim.rand.IntN(len(sim.workers))].draining = true
+	}
+}
+
+// runPass runs a pass of a leader. Only the true leader commits. A stale one
+// still sends replies that need no commit while its last confirmation is
+// recent.
+func (sim *simulation) runPass(l *simLeader, leads bool) {
+	p := l.scheduler.Pass(sim.now)
+	if leads {
+		l.confirmedAt = sim.now
+		sim.commit(p.Ops)
+	} else if len(p.Ops) > 0 || sim.now-l.confirmedAt > maxConfirmAgeMillis {
+		return
+	}
+	for _, o := range p.Orders {
+		for _, w := range sim.workers {
+			if w.id != o.Worker || w.incarnation != o.Incarnation || w.heartbeatLeader != l || w.sentAt == 0 {
+				continue
+			}
+			lease := sim.settings.LeaseMillis - max(0, w.sentAt-l.confirmedAt)
+			delay := clock.Millis(sim.rand.IntN(60))
+			if !sim.faultsOff && sim.rand.IntN(40) == 0 {
+				delay = clock.Millis(sim.rand.IntN(3000))
+			}
+			sim.replies = append(sim.replies, simReply{to: w, orders: o, lease: lease, token: l.token, sentAt: w.sentAt, arrivesAt: sim.now + delay})
+		}
+	}
+}
+
+func (sim *simulation) commit(ops []jobs.Op) {
+	for _, o := range ops {
+		if o.Kind == jobs.OpEnd {
+			t := sim.committed.Task(o.Task)
+			if t == nil || t.Phase != jobs.PhaseAssigned || t.Run != o.Run {
+				continue
+			}
+			sim.recordEnd(o)
+		}
+	}
+	sim.committed.Apply(ops, sim.now)
+}
+
+// recordEnd records what a run end means for the task, or for all tasks of its
+// gang.
+func (sim *simulation) recordEnd(o jobs.Op) {
+	step := &sim.committed.Jobs[o.Task.Job].Steps[o.Task.Step]
+	if step.LongRunning {
+		return
+	}
+	tasks := []jobs.TaskID{o.Task}
+	if step.Gang {
+		tasks = tasks[:0]
+		for n := range step.TaskCount {
+			tasks = append(tasks, jobs.TaskID{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
+		}
+	}
+	failed := failedRun{tasks[0], o.Run}
+	for _, t := range tasks {
+		sim.done[t] = sim.done[t] || o.Result == jobs.ResultDone
+		if o.Result == jobs.ResultFailed && !sim.failed[failed] {
+			sim.fails[t]++
+		}
+	}
+	sim.failed[failed] = sim.failed[failed] || o.Result == jobs.ResultFailed
+}
+
+// deliver delivers replies to workers. A reply that arrives after more than
+// answerTimeoutMillis is dropped.
+func (sim *simulation) deliver() {
+	kept := sim.replies[:0]
+	for _, reply := range sim.replies {
+		switch {
+		case reply.arrivesAt > sim.now:
+			kept = append(kept, reply)
+		case reply.sentAt == reply.to.sentAt && sim.now-reply.sentAt <= replyTimeoutMillis && !reply.to.down:
+			sim.applyReply(reply)
+		}
+	}
+	sim.replies = kept
+}
+
+func (sim *simulation) applyReply(reply simReply) {
+	w := reply.to
+	w.sentAt, w.nextHeartbeat = 0, sim.now+reply.orders.RetryAfter
+	if reply.token < w.token {
+		return
+	}
+	w.token = reply.token
+	// The worker's clock runs 2% slow.
+	w.leaseUntil = max(w.leaseUntil, reply.sentAt+reply.lease+reply.lease/50)
+	w.ends = slices.DeleteFunc(w.ends, func(e RunEnd) bool { return e.Number <= reply.orders.AckUpTo })
+	for _, s := range reply.orders.Stops {
+		w.closed[s.Task] = max(w.closed[s.Task], s.Run)
+		if r := w.runs[s.Task]; r != nil && r.run == s.Run {
+			w.end(s.Task, r, jobs.ResultStopped)
+		}
+	}
+	for _, s := range reply.orders.Starts {
+		sim.startRun(w, s)
+	}
+}
+
+func (w *simWorker) end(t jobs.TaskID, r *simRun, result jobs.Result) {
+	w.lastEnd++
+	w.ends = append(w.ends, RunEnd{Number: w.lastEnd, Task: t, Run: r.run, Result: result, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+	w.closed[t] = max(w.closed[t], r.run)
+	delete(w.runs, t)
+}
+
+func (sim *simulation) startRun(w *simWorker, s Start) {
+	if r := w.runs[s.Task]; r != nil && r.run == s.Run {
+		return
+	}
+	used := jobs.Resources{}
+	for t := range w.runs {
+		used = used.Plus(sim.committed.Jobs[t.Job].Steps[t.Step].Resources)
+	}
+	need := sim.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
+	if s.Run <= w.closed[s.Task] || !need.Fits(w.capacity.Minus(used)) {
+		w.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
+		return
+	}
+	sim.checkStart(w, s)
+	duration := clock.Millis(100 + sim.rand.IntN(900))
+	w.runs[s.Task] = &simRun{run: s.Run, startedAt: sim.now, duration: duration, fails: w.failing || sim.rand.IntN(25) == 0, checkpoint: s.Checkpoint}
+	sim.checkGang(w, s)
+}
+
+// checkGang checks that the running tasks of a gang share their run number and
+// started from the same checkpoint.
+func (sim *simulation) checkGang(w *simWorker, s Start) {
+	if !sim.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Gang {
+		return
+	}
+	for _, other := range sim.workers {
+		for t, r := range other.runs {
+			if t.Job != s.Task.Job || t.Occurrence != s.Task.Occurrence || t.Step != s.Task.Step {
+				continue
+			}
+			if r.run == s.Run && r.checkpoint != s.Checkpoint {
+				sim.failf("task %v starts from checkpoint %q, but %v of its gang from %q", s.Task, s.Checkpoint, t, r.checkpoint)
+			}
+			if r.run > s.Run {
+				sim.failf("task %v starts run %d on %s while run %d of %v is running", s.Task, s.Run, w.id, r.run, t)
+			}
+		}
+	}
+}
+
+// updateGangs starts the work of gangs whose tasks are all running. A gang that
+// has lost a task, or has waited too long for the others, is stopped.
+func (sim *simulation) updateGangs() {
+	present := map[failedRun]int{}
+	for _, w := range sim.workers {
+		for t, r := range w.runs {
+			present[gangRun(t, r)]++
+		}
+	}
+	for _, w := range sim.workers {
+		for t, r := range w.runs {
+			step := &sim.committed.Jobs[t.Job].Steps[t.Step]
+			complete := present[gangRun(t, r)] == step.TaskCount
+			switch {
+			case !step.Gang:
+			case complete && !r.formed:
+				r.formed, r.startedAt = true, sim.now
+			case !complete && (r.formed || sim.now-r.startedAt > gangTimeoutMillis):
+				w.end(t, r, jobs.ResultStopped)
+			}
+		}
+	}
+}
+
+func gangRun(t jobs.TaskID, r *simRun) failedRun {
+	t.Index = 0
+	return failedRun{t, r.run}
+}
+
+// checkStart checks the invariants of a task start.
+func (sim *simulation) checkStart(w *simWorker, s Start) {
+	rec := sim.committed.Jobs[s.Task.Job]
+	switch {
+	case sim.done[s.Task]:
+		sim.failf("task %v starts on %s after it was recorded as done", s.Task, w.id)
+	case sim.fails[s.Task] >= simMaxAttempts:
+		sim.failf("task %v starts after %d failed runs", s.Task, sim.fails[s.Task])
+	case !rec.Ready(s.Task.Occurrence, s.Task.Step):
+		sim.failf("task %v starts before the steps that it depends on are done", s.Task)
+	case rec.Due(s.Task.Occurrence) > sim.now:
+		sim.failf("task %v starts before its occurrence is due", s.Task)
+	}
+}
+
+// stepWorker simulates the work of a worker and sends its next heartbeat.
+func (sim *simulation) stepWorker(_ int, w *simWorker) {
+	if sim.now >= w.leaseUntil {
+		for t, r := range w.runs {
+			w.end(t, r, jobs.ResultExpired)
+		}
+	}
+	ended := false
+	for t, r := range w.runs {
+		step := &sim.committed.Jobs[t.Job].Steps[t.Step]
+		if step.LongRunning || (step.Gang && !r.formed) || w.stuck || sim.now-r.startedAt < r.duration {
+			continue
+		}
+		result := jobs.ResultDone
+		if r.fails {
+			result = jobs.ResultFailed
+		}
+		if step.Gang && result == jobs.ResultDone {
+			sim.endGang(t, r)
+		} else {
+			w.end(t, r, result)
+		}
+		ended = true
+	}
+	if w.sentAt != 0 && sim.now-w.sentAt > replyTimeoutMillis {
+		w.sentAt = 0
+	}
+	if ended && w.sentAt == 0 {
+		w.nextHeartbeat = min(w.nextHeartbeat, sim.now+60)
+	}
+	if w.sentAt == 0 && sim.now >= w.nextHeartbeat {
+		sim.sendHeartbeat(w)
+	}
+}
+
+// endGang completes all tasks of a gang.
+func (sim *simulation) endGang(task jobs.TaskID, r *simRun) {
+	key := gangRun(task, r)
+	for _, w := range sim.workers {
+		for t, y := range w.runs {
+			if gangRun(t, y) == key {
+				w.end(t, y, jobs.ResultDone)
+			}
+		}
+	}
+}
+
+func (sim *simulation) sendHeartbeat(w *simWorker) {
+	w.seq++
+	w.sentAt = sim.now
+	h := Heartbeat{
+		Worker: w.id, Incarnation: w.incarnation, Machine: w.machine, Pool: "p", Labels: []string{"a", "r-1"}, Seq: w.seq, Capacity: w.capacity,
+		Draining: w.draining, Ends: slices.Clone(w.ends), ReceivedAt: sim.now,
+	}
+	for t, r := range w.runs {
+		percent := int(100 * (sim.now - r.startedAt) / r.duration)
+		if w.stuck {
+			percent = 0
+		}
+		h.Running = append(h.Running, RunStatus{Task: t, Run: r.run, Percent: min(percent, 99), Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
+		if sim.committed.Jobs[t.Job].Steps[t.Step].LongRunning {
+			h.Running[len(h.Running)-1].Percent = 100
+		}
+	}
+	l := sim.leader
+	if sim.stale != nil && sim.rand.IntN(2) == 0 {
+		l = sim.stale
+	}
+	w.heartbeatLeader = nil
+	if l.scheduler.Heartbeat(h, sim.now) {
+		w.heartbeatLeader = l
+	}
+	if !sim.faultsOff && sim.rand.IntN(50) == 0 {
+		// A heartbeat may arrive twice or late.
+		l.scheduler.Heartbeat(h, sim.now)
+	}
+}
+
+// checkSingleRuns checks that no task runs on two workers at the same time.
+func (sim *simulation) checkSingleRuns() {
+	seen := map[jobs.TaskID]*simWorker{}
+	for _, w := range sim.workers {
+		for t := range w.runs {
+			if other := seen[t]; other != nil {
+				sim.failf("task %v runs on %s and %s", t, w.id, other.id)
+			}
+			seen[t] = w
+		}
+	}
+}
--- /dev/null
+++ b/core/state/sched/throttle.go
@@ -0,0 +1,102 @@
+package sched
+
+import (
+	"camphorridge/core/state/clock"
+)
+
+// Parameters of the throttling of best-effort tasks.
+const (
+	// speedPeriodMillis is the minimum time between two changes of the speed.
+	// The tail latency in a heartbeat covers the last half second.
+	speedPeriodMillis clock.Millis = 500
+	// Best-effort tasks are slowed down while the tail latency of a serving
+	// task exceeds slowTailPermille of its target, and sped up while all are
+	// below fastTailPermille.
+	slowTailPermille = 950
+	fastTailPermille = 750
+	// Slowing down divides the speed by speedDivisor, speeding up adds
+	// speedStepPercent. A speed below minSpeedPercent becomes 0; three
+	// slowdowns from full speed stop a task.
+	speedDivisor     = 3
+	speedStepPercent = 10
+	minSpeedPercent  = 10
+	fullSpeedPercent = 100
+	// fullSpeedRepeats is the number of replies that carry a return to full
+	// speed, because replies may be lost. A lower speed is part of every reply.
+	fullSpeedRepeats = 3
+)
+
+// speed is the speed of the best-effort tasks on a worker, as a percentage of
+// full speed.
+type speed struct {
+	percent int
+	// changedAt is the time of the latest change.
+	changedAt clock.Millis
+	// repeatsLeft is the number of replies that still have to carry full speed.
+	repeatsLeft int
+}
+
+// unknownSpeed returns the speed for a worker that received orders from an
+// earlier leader, which may have throttled it: full speed, repeated in the next
+// replies.
+func unknownSpeed() speed { return speed{percent: fullSpeedPercent, repeatsLeft: fullSpeedRepeats} }
+
+// adjustSpeed slows down the best-effort tasks on a worker while a serving task
+// there exceeds its latency target, and speeds them up step by step once it
+// does not. This follows loads of serving tasks that change within seconds.
+func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
+	worstPermille, bestEffort := w.tailLatency()
+	if bestEffort == 0 {
+		w.speed = speed{percent: fullSpeedPercent}
+		return
+	}
+	percent := nextSpeed(w.speed.percent, worstPermille)
+	if percent != w.speed.percent && now-w.speed.changedAt >= speedPeriodMillis {
+		w.speed = speed{percent: percent, changedAt: now, repeatsLeft: fullSpeedRepeats}
+		s.replyBy(w, now)
+	}
+	if w.speed.percent == fullSpeedPercent {
+		if w.speed.repeatsLeft == 0 {
+			return
+		}
+		w.speed.repeatsLeft--
+	}
+	for _, id := range sortedTaskIDs(w.runs) {
+		if r := w.runs[id]; r.throttleable() {
+			w.heartbeat.throttles = append(w.heartbeat.throttles, Throttle{Task: id, Run: r.number, Percent: w.speed.percent})
+		}
+	}
+}
+
+// nextSpeed returns the speed that follows percent, given the worst tail
+// latency in permille of its target.
+func nextSpeed(percent, worstPermille int) int {
+	switch {
+	case worstPermille > slowTailPermille && percent/speedDivisor < minSpeedPercent:
+		return 0
+	case worstPermille > slowTailPermille:
+		return percent / speedDivisor
+	case worstPermille < fastTailPermille:
+		return min(percent+speedStepPercent, fullSpeedPercent)
+	}
+	return percent
+}
+
+// throttleable reports whether the run is a best-effort task that the worker
+// runs and that is not being stopped.
+func (r *run) throttleable() bool { return r.step.BestEffort && r.listed && !r.stopping }
+
+// tailLatency returns the worst tail latency of the serving tasks on the
+// worker, in permille of the target, and the number of best-effort tasks that
+// can be throttled.
+func (w *worker) tailLatency() (worstPermille, bestEffort int) {
+	for _, r := range w.runs {
+		if r.throttleable() {
+			bestEffort++
+		}
+		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.serving() {
+			worstPermille = max(worstPermille, r.load*1000/int(r.step.LatencyTarget))
+		}
+	}
+	return worstPermille, bestEffort
+}
