--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -31,7 +31,7 @@
 
 type placement struct{ seconds, idle, overload, disruptions, starts, urgent, violations float64 }
 
-func placed[F Fit, S Sizer](b *testing.B, name string, fit F, sizer func() S, cores int) {
+func placed[F FitPolicy, S Sizer](b *testing.B, name string, fit F, sizer func() S, cores int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 3
 		var sum placement
@@ -58,7 +58,7 @@
 	})
 }
 
-func placeAll[F Fit, S Sizer](fit F, sizer S, seed uint64, cores int) (p placement) {
+func placeAll[F FitPolicy, S Sizer](fit F, sizer S, seed uint64, cores int) (p placement) {
 	f := newFake(seed, 50)
 	for _, w := range f.workers {
 		w.size.MilliCores = cores
@@ -94,18 +94,18 @@
 					p.urgent = max(p.urgent, float64(f.now-at)/1000)
 					delete(waits, a.Task)
 				}
-			case a.Kind != ActionRenew && a.Percent != 100:
+			case a.Kind != ActionRenew && a.CPUPercent != 100:
 				p.disruptions++
 			}
 		}
-		Carry(f, plan.Actions)
+		Execute(f, plan.Actions)
 		before := f.usedCores
 		tick(f, board, 500)
 		for _, w := range board.workers {
 			p.idle += float64(w.used.MilliCores) / 2000
 		}
 		p.idle -= (f.usedCores - before) / 2
-		if step > 150 && len(board.over) == 900 {
+		if step > 150 && len(board.finished) == 900 {
 			break
 		}
 	}
@@ -160,12 +160,12 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	set := Defaults()
-	set.Scan, set.LeaseMillis, set.TrialTasks = scan, 1000*clock.Day, 100
+	set.FullScan, set.LeaseMillis, set.TrialTasks = scan, 1000*clock.Day, 100
 	board := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, set)
 	for k := range workers {
 		id := WorkerID(fmt.Sprintf("w%04d", k))
 		board.SetWorker(Worker{ID: id, Size: Size{MilliCores: 16000, MemoryMiB: 32768}})
-		board.Heard(id, 0, nil)
+		board.Heartbeat(id, 0, nil)
 	}
 	for k := range 89 {
 		board.SetContract(model.Contract{Customer: model.Customer(fmt.Sprintf("team%02d", k)), Quota: Size{MilliCores: 1 << 40, MemoryMiB: 1 << 40}})
@@ -192,7 +192,7 @@
 	b.ResetTimer()
 	for b.Loop() {
 		for range 6 {
-			board.Ended(TaskID(fmt.Sprintf("t%08d", first)), 1, OutcomeDone, now)
+			board.RunEnded(TaskID(fmt.Sprintf("t%08d", first)), 1, OutcomeDone, now)
 			first++
 			submit()
 		}
@@ -224,7 +224,7 @@
 			}
 		}
 		for _, id := range sortedKeys(f.workers) {
-			board.Heard(id, 0, nil)
+			board.Heartbeat(id, 0, nil)
 		}
 		board.Pass(f.now)
 		b.StartTimer()
--- a/core/state/place/doc.go
+++ b/core/state/place/doc.go
@@ -1,9 +1,10 @@
-// Package place decides which worker runs which task. It keeps within teams'
-// quotas, starts urgent work first, reserves what tasks were seen to use and
-// not what they declare, makes room by checkpoint, throttle and stop in that
-// order within the contracts' disruption budgets, and sets workers aside that
-// fail what their peers run.
+// Package place decides which worker runs which task. It keeps each team within
+// its quota, starts urgent tasks first, and reserves what tasks were observed
+// to use rather than what they declare. It frees capacity by checkpointing,
+// throttling and stopping tasks, in that order, within the disruption budgets
+// of the contracts. It quarantines workers that fail tasks which other workers
+// run.
 //
-// A worker runs tasks under a lease. A task is started elsewhere only after
-// its worker reported its end or the lease has run out.
+// A worker runs tasks under a lease. A task is started on another worker only
+// after its worker reported the end of the run or the worker's lease expired.
 package place
--- a/core/state/place/error.go
+++ b/core/state/place/error.go
@@ -2,24 +2,25 @@
 
 import "fmt"
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind string
 
 // The kinds of error.
 const (
-	// KindImpossible: no worker could ever run the task.
+	// KindImpossible: no worker is large enough for the task.
 	KindImpossible Kind = "impossible"
-	// KindQuota: the task exceeds the whole quota of its team.
+	// KindQuota: the task needs more than the whole quota of its team.
 	KindQuota Kind = "quota"
-	// KindTeam: the team has no contract.
-	KindTeam Kind = "team"
-	// KindKnown: a task of that name was submitted before.
-	KindKnown Kind = "known"
+	// KindNoContract: the team has no contract.
+	KindNoContract Kind = "team"
+	// KindDuplicate: a task with the same name was submitted before.
+	KindDuplicate Kind = "known"
 	// KindPlatform: the platform did not carry out an action.
 	KindPlatform Kind = "platform"
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package: the failed operation, the kind of
+// error and its cause.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -86,7 +86,7 @@
 
 func (f *fake) Start(a Action) error {
 	f.send(a.Worker, func() {
-		if w := f.workers[a.Worker]; f.now <= a.Until && f.now <= w.lease {
+		if w := f.workers[a.Worker]; f.now <= a.LeaseEnd && f.now <= w.lease {
 			w.runs[a.Task] = &running{attempt: a.Attempt, left: f.work[a.Task].takes, percent: 100}
 		}
 	})
@@ -94,7 +94,7 @@
 }
 
 func (f *fake) Renew(a Action) error {
-	f.send(a.Worker, func() { f.workers[a.Worker].lease = max(f.workers[a.Worker].lease, a.Until) })
+	f.send(a.Worker, func() { f.workers[a.Worker].lease = max(f.workers[a.Worker].lease, a.LeaseEnd) })
 	return nil
 }
 
@@ -109,7 +109,7 @@
 }
 
 func (f *fake) Throttle(a Action) error {
-	f.send(a.Worker, func() { f.run(a).percent = a.Percent })
+	f.send(a.Worker, func() { f.run(a).percent = a.CPUPercent })
 	return nil
 }
 
@@ -120,7 +120,7 @@
 
 // tick lets time pass: messages arrive, tasks advance, leases run out, and
 // workers report what they run.
-func tick[F Fit, S Sizer, J HealthPolicy](f *fake, b *Placer[F, S, J], by clock.Millis) {
+func tick[F FitPolicy, S Sizer, J HealthPolicy](f *fake, b *Placer[F, S, J], by clock.Millis) {
 	f.now += by
 	for k := 0; k < len(f.queue); k++ {
 		if f.queue[k].at <= f.now {
@@ -143,11 +143,11 @@
 			}
 			on[tid] = id
 			cores += j.size.MilliCores * r.percent / 100
-			f.advance(w, tid, r, by, func(o Outcome) { f.send(id, func() { b.Ended(tid, r.attempt, o, f.now) }) })
+			f.advance(w, tid, r, by, func(o Outcome) { f.send(id, func() { b.RunEnded(tid, r.attempt, o, f.now) }) })
 			if f.rnd.IntN(4) == 0 {
 				use := j.size
 				use.MilliCores = use.MilliCores * r.percent / 100 * (85 + f.rnd.IntN(31)) / 100
-				f.send(id, func() { b.Report(tid, r.attempt, use) })
+				f.send(id, func() { b.ReportUsage(tid, r.attempt, use) })
 			}
 		}
 		f.usedCores += float64(cores) / 1000
@@ -158,7 +158,7 @@
 				runs = append(runs, Run{tid, r.attempt})
 			}
 			lease := w.lease
-			f.send(id, func() { b.Heard(id, lease, runs) })
+			f.send(id, func() { b.Heartbeat(id, lease, runs) })
 		}
 	}
 }
@@ -192,7 +192,7 @@
 func (f *fake) add(team, n, cores int, takes clock.Millis, off int) Task {
 	t := Task{
 		ID: TaskID(fmt.Sprintf("t%d-%05d", team, n)), Team: model.Customer(fmt.Sprintf("team%d", team)),
-		Class: fmt.Sprintf("class%d", cores), Submitted: f.now, Checkpoints: n%3 == 0, Throttles: n%3 == 1,
+		Class: fmt.Sprintf("class%d", cores), Submitted: f.now, CanCheckpoint: n%3 == 0, CanThrottle: n%3 == 1,
 		Declared: Size{MilliCores: cores * off / 100, MemoryMiB: 512},
 	}
 	f.work[t.ID] = &job{size: Size{MilliCores: cores, MemoryMiB: 512}, takes: takes}
--- a/core/state/place/fit.go
+++ b/core/state/place/fit.go
@@ -4,66 +4,69 @@
 	"slices"
 )
 
-// Fit is the policy that says in which order workers with room are tried.
-type Fit interface {
-	// Order returns the first bucket of free processors to try and the step to
-	// the next one, between least and top. Step 0 tries all workers by name.
+// FitPolicy determines the order in which workers with free capacity are tried.
+type FitPolicy interface {
+	// Order returns the first bucket of the free-capacity index to try and the
+	// step to the next one, within least to top. Step 0 means that all workers
+	// are tried in the order of their names.
 	Order(least, top int) (first, step int)
 }
 
-// BestFit tries the workers with least room first, so that large tasks find
-// whole workers later on.
+// BestFit tries the workers with the least free capacity first, which keeps
+// whole workers free for large tasks.
 type BestFit struct{}
 
-// Order goes from the least sufficient bucket up.
+// Order starts at the smallest sufficient bucket and goes up.
 func (BestFit) Order(least, _ int) (first, step int) { return least, 1 }
 
-// WorstFit tries the workers with most room first, so that a lost worker takes
-// fewer tasks with it.
+// WorstFit tries the workers with the most free capacity first, so that the
+// loss of a worker affects fewer tasks.
 type WorstFit struct{}
 
-// Order goes from the top bucket down.
+// Order starts at the top bucket and goes down.
 func (WorstFit) Order(_, top int) (first, step int) { return top, -1 }
 
-// FirstFit is the baseline: workers by name.
+// FirstFit is the baseline: it tries the workers in the order of their names.
 type FirstFit struct{}
 
 // Order returns step 0.
 func (FirstFit) Order(int, int) (first, step int) { return 0, 0 }
 
-// room holds the workers by free processors, in buckets of one processor. Each
-// bucket is sorted by name.
-type room struct {
-	buckets [][]WorkerID
-	at      map[WorkerID]int
+// capacityIndex orders workers by free processors, in buckets of one processor.
+// Each bucket is sorted by worker name.
+type capacityIndex struct {
+	buckets        [][]WorkerID
+	bucketByWorker map[WorkerID]int
 }
 
+// bucketOf returns the bucket for an amount of free processors.
 func bucketOf(milliCores int) int { return max(0, milliCores/1000) }
 
-// set puts a worker into the bucket of its free processors.
-func (r *room) set(id WorkerID, free Size) {
+// set moves a worker to the bucket of its free processors and adds it if it is
+// not in the index.
+func (x *capacityIndex) set(id WorkerID, free Size) {
 	to := bucketOf(free.MilliCores)
-	if at, ok := r.at[id]; ok {
+	if at, ok := x.bucketByWorker[id]; ok {
 		if at == to {
 			return
 		}
-		r.remove(id)
+		x.remove(id)
 	}
-	for len(r.buckets) <= to {
-		r.buckets = append(r.buckets, nil)
+	for len(x.buckets) <= to {
+		x.buckets = append(x.buckets, nil)
 	}
-	pos, _ := slices.BinarySearch(r.buckets[to], id)
-	r.buckets[to] = slices.Insert(r.buckets[to], pos, id)
-	r.at[id] = to
+	pos, _ := slices.BinarySearch(x.buckets[to], id)
+	x.buckets[to] = slices.Insert(x.buckets[to], pos, id)
+	x.bucketByWorker[id] = to
 }
 
-func (r *room) remove(id WorkerID) {
-	at, ok := r.at[id]
+func (x *capacityIndex) remove(id WorkerID) {
+	at, ok := x.bucketByWorker[id]
 	if !ok {
 		return
 	}
-	if pos, ok := slices.BinarySearch(r.buckets[at], id); ok {
-		r.buckets[at] = slices.Delete(r.buckets[at], pos, pos+1)
+	if pos, ok := slices.BinarySearch(x.buckets[at], id); ok {
+		x.buckets[at] = slices.Delete(x.buckets[at], pos, pos+1)
 	}
-	delete(r.at, id)
+	delete(x.bucketByWorker, id)
 }
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -8,154 +8,160 @@
 	"camphorridge/core/state/model"
 )
 
-// Pass returns what to do now. Leases are renewed first, then full workers
-// relieved, and waiting tasks started, urgent ones before all others.
-func (b *Placer[F, S, J]) Pass(now clock.Millis) Plan {
-	b.fire(now)
-	b.renew(now)
-	for _, id := range sortedKeys(b.full) {
-		b.relieveFull(b.workers[id], now)
+// Pass returns the actions to take now. It renews leases first, then relieves
+// overcommitted workers, then starts waiting tasks, urgent ones first.
+func (p *Placer[F, S, J]) Pass(now clock.Millis) Plan {
+	p.handleTimers(now)
+	p.renewLeases(now)
+	for _, id := range sortedKeys(p.overcommitted) {
+		p.relieveOvercommitted(p.workers[id], now)
 	}
-	if now >= b.quiet {
-		for _, id := range sortedKeys(b.holds) {
-			b.passHold(b.workers[id], now)
+	if now >= p.startAfter {
+		for _, id := range sortedKeys(p.reserved) {
+			p.advanceReservation(p.workers[id], now)
 		}
-		b.startWaiting(now)
+		p.startWaiting(now)
 	}
-	b.restoreThrottled()
-	b.stopCancelled(now)
-	for _, id := range sortedKeys(b.teams) {
-		b.wait(id, b.teams[id])
+	p.restoreThrottled()
+	p.stopCancelled(now)
+	for _, id := range sortedKeys(p.teams) {
+		p.addWait(id, p.teams[id])
 	}
-	plan := b.out
-	b.out = Plan{}
-	if b.due.Len() > 0 {
-		plan.Wake = b.due.Top().at
+	plan := p.out
+	p.out = Plan{}
+	if p.timers.Len() > 0 {
+		plan.NextPass = p.timers.Top().at
 	}
 	return plan
 }
 
-// stopCancelled tells a bounded number of cancelled tasks to end. Those whose
-// end was ordered before need no second order.
-func (b *Placer[F, S, J]) stopCancelled(now clock.Millis) {
-	told := 0
-	for len(b.stops) > 0 && told < b.set.StopsPerPass {
-		t := b.stops[0]
-		b.stops = b.stops[1:]
+// stopCancelled tells a limited number of cancelled tasks to stop. Tasks that
+// were already told to end need no second order.
+func (p *Placer[F, S, J]) stopCancelled(now clock.Millis) {
+	sent := 0
+	for len(p.stops) > 0 && sent < p.settings.StopsPerPass {
+		t := p.stops[0]
+		p.stops = p.stops[1:]
 		if t.phase != PhaseRunning {
 			continue
 		}
-		b.order(t, ActionStop, "cancelled")
-		b.due.Push(due{at: now + b.set.LeaseMillis/2, task: t.ID})
-		told++
+		p.orderEnd(t, ActionStop, "cancelled")
+		p.timers.Push(timer{at: now + p.settings.LeaseMillis/2, task: t.ID})
+		sent++
 	}
-	if len(b.stops) > 0 {
-		b.due.Push(due{at: now + b.set.StopPauseMillis})
+	if len(p.stops) > 0 {
+		p.timers.Push(timer{at: now + p.settings.StopPauseMillis})
 	}
 }
 
-// passHold starts the task that room is made for once the room is there, and
-// gives up when it will not be.
-func (b *Placer[F, S, J]) passHold(w *worker, now clock.Millis) {
-	t := w.hold
+// advanceReservation starts the task that capacity is being freed for once it
+// fits, and cancels the reservation when no more tasks are ending.
+func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
+	t := w.reservedFor
 	switch {
-	case !w.Gone && b.usable(w, now) && b.estimate(t.Task).Fits(w.Size.Minus(w.used)):
-		b.unhold(w)
-		b.start(t, w, now)
-	case w.Gone || !slices.ContainsFunc(sortedKeys(w.tasks), func(id TaskID) bool { return w.tasks[id].phase == PhaseEnding }):
-		b.unhold(w)
+	case !w.Draining && p.usable(w, now) && p.reservation(t.Task).Fits(w.Size.Minus(w.used)):
+		p.cancelReservation(w)
+		p.start(t, w, now)
+	case w.Draining || !slices.ContainsFunc(sortedKeys(w.tasks), func(id TaskID) bool { return w.tasks[id].phase == PhaseStopping }):
+		p.cancelReservation(w)
 	}
 }
 
-// fire handles what fell due: leases that ran out, workers to be tried again,
-// and orders that were not confirmed.
-func (b *Placer[F, S, J]) fire(now clock.Millis) {
-	for b.due.Len() > 0 && b.due.Top().at <= now {
-		d := b.due.Pop()
-		if t := b.tasks[d.task]; t != nil {
-			if t.phase == PhaseEnding {
-				b.out.Actions = append(b.out.Actions, t.asked)
-				b.due.Push(due{at: now + b.set.LeaseMillis/2, task: t.ID})
+// handleTimers processes the expired timers: leases, quarantines, trials and
+// unconfirmed orders to end.
+func (p *Placer[F, S, J]) handleTimers(now clock.Millis) {
+	for p.timers.Len() > 0 && p.timers.Top().at <= now {
+		expired := p.timers.Pop()
+		if t := p.tasks[expired.task]; t != nil {
+			if t.phase == PhaseStopping {
+				p.out.Actions = append(p.out.Actions, t.pendingAction)
+				p.timers.Push(timer{at: now + p.settings.LeaseMillis/2, task: t.ID})
 			}
 			continue
 		}
-		w := b.workers[d.worker]
+		w := p.workers[expired.worker]
 		if w == nil {
 			continue
 		}
-		if w.until+b.set.SkewMillis <= now {
-			b.expire(w, now)
+		if w.leaseEnd+p.settings.SkewMillis <= now {
+			p.expireLease(w, now)
 		}
-		b.prove(w, now)
-		if b.aside[w.ID] && w.since+b.set.AsideMillis <= now {
-			// One more failure sets it aside again.
-			w.weight = b.judge.Threshold() / 2
-			b.restore(w)
+		p.endTrial(w, now)
+		if p.quarantined[w.ID] && w.quarantinedAt+p.settings.QuarantineMillis <= now {
+			// From half of the threshold on, it runs one task at a time and few
+			// failures quarantine it again.
+			w.score = p.health.Threshold() / 2
+			p.endQuarantine(w)
 		}
 	}
 }
 
-// prove ends the trial of a worker on which a task has run for the trial time.
-func (b *Placer[F, S, J]) prove(w *worker, now clock.Millis) {
+// endTrial marks a worker as proven once a task has run on it for the trial
+// time.
+func (p *Placer[F, S, J]) endTrial(w *worker, now clock.Millis) {
 	for _, t := range w.tasks {
-		if !w.proven && now-t.started >= b.set.TrialMillis {
+		if !w.proven && now-t.startedAt >= p.settings.TrialMillis {
 			w.proven = true
-			b.unblock()
+			p.unblockTeams()
 		}
 	}
 }
 
-func (b *Placer[F, S, J]) renew(now clock.Millis) {
-	for _, id := range sortedKeys(b.heard) {
-		w := b.workers[id]
-		if w.until < now+b.set.LeaseMillis/4 {
-			b.unblock()
+// renewLeases renews the leases of the workers that sent a heartbeat since the
+// last pass.
+func (p *Placer[F, S, J]) renewLeases(now clock.Millis) {
+	for _, id := range sortedKeys(p.toRenew) {
+		w := p.workers[id]
+		if w.leaseEnd < now+p.settings.LeaseMillis/4 {
+			p.unblockTeams()
 		}
-		w.until = now + b.set.LeaseMillis
-		b.due.Push(due{at: w.until + b.set.SkewMillis, worker: id})
-		b.out.Actions = append(b.out.Actions, Action{Kind: ActionRenew, Worker: id, Until: w.until})
+		w.leaseEnd = now + p.settings.LeaseMillis
+		p.timers.Push(timer{at: w.leaseEnd + p.settings.SkewMillis, worker: id})
+		p.out.Actions = append(p.out.Actions, Action{Kind: ActionRenew, Worker: id, LeaseEnd: w.leaseEnd})
 	}
-	clear(b.heard)
+	clear(p.toRenew)
 }
 
-// usable reports whether a worker may be given a task now. One that is not
-// proven runs a few tasks only. One whose failures
-// come near the limit runs a single task at a time, so that a worker which
-// fails quickly does not drain the queue.
-func (b *Placer[F, S, J]) usable(w *worker, now clock.Millis) bool {
-	if w.Gone || b.aside[w.ID] || w.until < now+b.set.LeaseMillis/4 {
+// usable reports whether a worker may get a task now. A worker that is not
+// proven runs only TrialTasks at once. One whose score is at least half of the
+// threshold runs a single task at a time, so that a worker that fails quickly
+// does not use up the queue.
+func (p *Placer[F, S, J]) usable(w *worker, now clock.Millis) bool {
+	if w.Draining || p.quarantined[w.ID] || w.leaseEnd < now+p.settings.LeaseMillis/4 {
 		return false
 	}
-	if !w.proven && len(w.tasks) >= b.set.TrialTasks {
+	if !w.proven && len(w.tasks) >= p.settings.TrialTasks {
 		return false
 	}
-	return w.weight < b.judge.Threshold()/2 || len(w.tasks) == 0
+	return w.score < p.health.Threshold()/2 || len(w.tasks) == 0
 }
 
-// attemptsPerTerm is more than the starts of one task under one leader.
+// attemptsPerTerm is an upper bound on the starts of one task in one term.
 const attemptsPerTerm = 1_000_000
 
-func (b *Placer[F, S, J]) start(t *task, w *worker, now clock.Millis) {
-	tm := b.teams[t.Team]
+// start assigns a task to a worker and adds the start action to the plan.
+func (p *Placer[F, S, J]) start(t *task, w *worker, now clock.Millis) {
+	tm := p.teams[t.Team]
 	tm.setDisrupted(t, false)
-	t.phase, t.worker, t.started, t.until, t.percent = PhaseRunning, w, now, w.until, 100
-	t.attempt = max(t.attempt, b.term*attemptsPerTerm) + 1
+	t.phase, t.worker, t.startedAt, t.leaseEnd, t.cpuPercent = PhaseRunning, w, now, w.leaseEnd, 100
+	t.attempt = max(t.attempt, p.term*attemptsPerTerm) + 1
 	w.tasks[t.ID] = t
 	if !w.proven {
-		b.due.Push(due{at: now + b.set.TrialMillis, worker: w.ID})
+		p.timers.Push(timer{at: now + p.settings.TrialMillis, worker: w.ID})
 	}
-	b.resize(t, b.estimate(t.Task))
-	b.out.Actions = append(b.out.Actions, Action{
-		Kind: ActionStart, Worker: w.ID, Task: t.ID, Attempt: t.attempt, Size: t.reserve, Until: w.until,
+	p.resize(t, p.reservation(t.Task))
+	p.out.Actions = append(p.out.Actions, Action{
+		Kind: ActionStart, Worker: w.ID, Task: t.ID, Attempt: t.attempt, Size: t.reserved, LeaseEnd: w.leaseEnd,
 	})
 }
 
-// startWaiting starts tasks team by team: the most urgent head first, and of
-// equals the team that holds the smallest part of its quota.
-func (b *Placer[F, S, J]) startWaiting(now clock.Millis) {
-	active := make([]*team, 0, len(b.teams))
-	for _, id := range sortedKeys(b.teams) {
-		if tm := b.teams[id]; !tm.blocked && tm.head() != nil {
+// startWaiting starts tasks team by team. The team with the most urgent first
+// task goes first; among equals, the one that uses the smallest share of its
+// quota.
+func (p *Placer[F, S, J]) startWaiting(now clock.Millis) {
+	active := make([]*team, 0, len(p.teams))
+	for _, id := range sortedKeys(p.teams) {
+		if tm := p.teams[id]; !tm.blocked && tm.firstWaiting() != nil {
 			active = append(active, tm)
 		}
 	}
@@ -163,70 +169,73 @@
 	for len(active) > 0 {
 		best := 0
 		for k := 1; k < len(active); k++ {
-			if before(active[k], active[best]) {
+			if startsBefore(active[k], active[best]) {
 				best = k
 			}
 		}
 		tm := active[best]
-		if !b.startOne(tm, now, &failed) {
+		if !p.startOne(tm, now, &failed) {
 			tm.blocked = true
 		}
-		if tm.blocked || tm.head() == nil {
+		if tm.blocked || tm.firstWaiting() == nil {
 			active = slices.Delete(active, best, best+1)
 		}
 	}
 }
 
-func before(a, b *team) bool {
-	x, y := a.head(), b.head()
+// startsBefore reports whether team a is served before team p.
+func startsBefore(a, b *team) bool {
+	x, y := a.firstWaiting(), b.firstWaiting()
 	if x.Urgent != y.Urgent {
 		return x.Urgent
 	}
 	if x.Priority != y.Priority {
 		return x.Priority > y.Priority
 	}
-	return a.share() < b.share()
+	return a.quotaShare() < b.quotaShare()
 }
 
-// startOne starts the first of the team's waiting tasks that may start, within
-// the lookahead. Failed collects the sizes that no worker had room for.
-func (b *Placer[F, S, J]) startOne(tm *team, now clock.Millis, failed *[]Size) bool {
-	var passed []*task
-	var first Limit
+// startOne starts the first of the team's waiting tasks that can start, within
+// the lookahead. failed collects the sizes that fit on no worker.
+func (p *Placer[F, S, J]) startOne(tm *team, now clock.Millis, failed *[]Size) bool {
+	var tried []*task
+	var firstLimit Limit
 	started := false
-	for range b.set.Lookahead {
-		t := tm.head()
+	for range p.settings.Lookahead {
+		t := tm.firstWaiting()
 		if t == nil {
 			break
 		}
 		tm.pop()
-		passed = append(passed, t)
-		if started = b.try(tm, t, now, failed); started {
+		tried = append(tried, t)
+		if started = p.tryStart(tm, t, now, failed); started {
 			break
 		}
-		if len(passed) == 1 {
-			first = tm.limit
+		if len(tried) == 1 {
+			firstLimit = tm.limit
 		}
 	}
-	for _, t := range passed {
-		if t.phase == PhaseWaiting && t.hold == nil {
+	for _, t := range tried {
+		if t.phase == PhaseWaiting && t.reservedOn == nil {
 			tm.push(t)
 		}
 	}
-	tm.limit = first
+	tm.limit = firstLimit
 	return started
 }
 
-func (b *Placer[F, S, J]) try(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
-	need := b.estimate(t.Task)
+// tryStart starts a task, or frees capacity for it if it is urgent, and reports
+// whether it did either. Otherwise it sets the team's limit.
+func (p *Placer[F, S, J]) tryStart(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
+	need := p.reservation(t.Task)
 	if !tm.used.Plus(need).Fits(tm.contract.Quota) {
 		tm.limit = LimitQuota
 		return false
 	}
-	tm.limit = LimitRoom
+	tm.limit = LimitCapacity
 	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
-		if w := b.choose(t, need, now); w != nil {
-			b.start(t, w, now)
+		if w := p.chooseWorker(t, need, now); w != nil {
+			p.start(t, w, now)
 			return true
 		}
 		if len(t.failedOn) == 0 {
@@ -234,28 +243,29 @@
 		}
 	}
 	if t.Urgent {
-		return b.makeRoom(tm, t, need, now)
+		return p.preemptFor(tm, t, need, now)
 	}
 	return false
 }
 
-// choose returns the worker that the policy tries first among those with room.
-func (b *Placer[F, S, J]) choose(t *task, need Size, now clock.Millis) *worker {
-	ok := func(id WorkerID) *worker {
-		w := b.workers[id]
-		if w.hold == nil && need.Fits(w.Size.Minus(w.used)) && b.usable(w, now) && !slices.Contains(t.failedOn, id) {
+// chooseWorker returns the first worker in the order of the fit policy that can
+// run the task, or nil.
+func (p *Placer[F, S, J]) chooseWorker(t *task, need Size, now clock.Millis) *worker {
+	suitable := func(id WorkerID) *worker {
+		w := p.workers[id]
+		if w.reservedFor == nil && need.Fits(w.Size.Minus(w.used)) && p.usable(w, now) && !slices.Contains(t.failedOn, id) {
 			return w
 		}
 		return nil
 	}
-	least, top := bucketOf(need.MilliCores), len(b.free.buckets)-1
-	first, step := b.fit.Order(least, top)
-	if step == 0 || b.set.Scan {
-		return b.scan(ok, step)
+	least, top := bucketOf(need.MilliCores), len(p.free.buckets)-1
+	first, step := p.fit.Order(least, top)
+	if step == 0 || p.settings.FullScan {
+		return p.scanWorkers(suitable, step)
 	}
 	for k := first; k >= least && k <= top; k += step {
-		for _, id := range b.free.buckets[k] {
-			if w := ok(id); w != nil {
+		for _, id := range p.free.buckets[k] {
+			if w := suitable(id); w != nil {
 				return w
 			}
 		}
@@ -263,31 +273,34 @@
 	return nil
 }
 
-// scan looks at all workers by name, for the baseline and with the index off.
-func (b *Placer[F, S, J]) scan(ok func(WorkerID) *worker, step int) *worker {
+// scanWorkers examines all workers by name. It is used by the baseline policy
+// and when the index is disabled.
+func (p *Placer[F, S, J]) scanWorkers(suitable func(WorkerID) *worker, step int) *worker {
 	var best *worker
-	for _, id := range sortedKeys(b.workers) {
-		w := ok(id)
+	for _, id := range sortedKeys(p.workers) {
+		w := suitable(id)
 		if w == nil {
 			continue
 		}
 		if step == 0 {
 			return w
 		}
-		at := func(w *worker) int { return step * bucketOf(w.Size.MilliCores-w.used.MilliCores) }
-		if best == nil || at(w) < at(best) {
+		rank := func(w *worker) int { return step * bucketOf(w.Size.MilliCores-w.used.MilliCores) }
+		if best == nil || rank(w) < rank(best) {
 			best = w
 		}
 	}
 	return best
 }
 
-func (b *Placer[F, S, J]) wait(id model.Customer, tm *team) {
-	t := tm.head()
+// addWait adds the reason why the team's first waiting task does not start to
+// the plan.
+func (p *Placer[F, S, J]) addWait(id model.Customer, tm *team) {
+	t := tm.firstWaiting()
 	if t == nil || !tm.blocked {
 		return
 	}
-	w := Wait{Team: id, Task: t.ID, Limit: tm.limit, Need: b.estimate(t.Task)}
+	w := Wait{Team: id, Task: t.ID, Limit: tm.limit, Need: p.reservation(t.Task)}
 	switch tm.limit {
 	case LimitQuota:
 		w.Unblock = fmt.Sprintf("tasks of %s end; it holds %v of %v", id, tm.used, tm.contract.Quota)
@@ -296,5 +309,5 @@
 	default:
 		w.Unblock = "tasks end or workers are added"
 	}
-	b.out.Waits = append(b.out.Waits, w)
+	p.out.Waits = append(p.out.Waits, w)
 }
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -16,7 +16,7 @@
 // audit keeps its own account of disruptions from the actions alone.
 type audit struct {
 	out   map[TaskID]bool
-	spent map[model.Customer][]expense
+	spent map[model.Customer][]disruptionCost
 	start map[TaskID]clock.Millis
 }
 
@@ -34,7 +34,7 @@
 			a.start[x.Task] = now
 			delete(a.out, x.Task)
 			continue
-		case x.Percent == 100:
+		case x.CPUPercent == 100:
 			delete(a.out, x.Task)
 			continue
 		case x.Reason == "cancelled" || strings.HasPrefix(x.Reason, "it still"):
@@ -43,7 +43,7 @@
 			continue // asked again
 		}
 		a.out[x.Task] = true
-		a.spent[team] = append(a.spent[team], expense{now, cost})
+		a.spent[team] = append(a.spent[team], disruptionCost{now, cost})
 		n, sum := 0, clock.Millis(0)
 		for id := range a.out {
 			if tasks[id].Team == team {
@@ -76,7 +76,7 @@
 			b.SetContract(c)
 			contracts[c.Customer] = c
 		}
-		a := &audit{out: map[TaskID]bool{}, spent: map[model.Customer][]expense{}, start: map[TaskID]clock.Millis{}}
+		a := &audit{out: map[TaskID]bool{}, spent: map[model.Customer][]disruptionCost{}, start: map[TaskID]clock.Millis{}}
 		off := rapid.IntRange(20, 200).Draw(t, "off")
 		var accepted []TaskID
 		faulty := map[TaskID]bool{}
@@ -99,11 +99,11 @@
 			}
 			plan := b.Pass(f.now)
 			for id := range a.out {
-				if b.tasks[id].phase == PhaseOver {
+				if b.tasks[id].phase == PhaseFinished {
 					delete(a.out, id)
 				}
 			}
-			a.check(t, tasks, contracts, b.set, plan, f.now)
+			a.check(t, tasks, contracts, b.settings, plan, f.now)
 			for _, x := range plan.Actions {
 				if team := tasks[x.Task].Team; x.Kind == ActionStart && x.Size.MilliCores > contracts[team].Quota.MilliCores {
 					t.Fatalf("%v exceeds the quota of %s", x, team)
@@ -114,9 +114,9 @@
 					t.Fatalf("given up: %v", g)
 				}
 			}
-			assert.Equal(t, len(Carry(f, plan.Actions)), 0)
+			assert.Equal(t, len(Execute(f, plan.Actions)), 0)
 			tick(f, b, 500)
-			if step > 300 && !slices.ContainsFunc(accepted, func(id TaskID) bool { return b.tasks[id].phase != PhaseOver }) {
+			if step > 300 && !slices.ContainsFunc(accepted, func(id TaskID) bool { return b.tasks[id].phase != PhaseFinished }) {
 				break
 			}
 		}
@@ -124,7 +124,7 @@
 			t.Fatal(f.violations[0])
 		}
 		for _, id := range accepted {
-			if b.tasks[id].phase != PhaseOver {
+			if b.tasks[id].phase != PhaseFinished {
 				t.Fatalf("%s is not over: %+v", id, *b.tasks[id])
 			}
 		}
@@ -144,13 +144,13 @@
 		}
 		for range 60 {
 			for _, id := range sortedKeys(f.workers) {
-				b.Heard(id, 0, nil)
+				b.Heartbeat(id, 0, nil)
 			}
 			plan := b.Pass(f.now)
 			if used := b.teams["team0"].used.MilliCores; used > quota {
 				t.Fatalf("%d of %d in use", used, quota)
 			}
-			Carry(f, plan.Actions)
+			Execute(f, plan.Actions)
 			tick(f, b, 500)
 		}
 	})
@@ -170,7 +170,7 @@
 	}{
 		{f.add(0, 1, 17000, 1, 100), KindImpossible, "17000"},
 		{f.add(0, 2, 21000, 1, 100), KindQuota, "20000"},
-		{f.add(9, 3, 1000, 1, 100), KindTeam, "team9"},
+		{f.add(9, 3, 1000, 1, 100), KindNoContract, "team9"},
 	} {
 		var e *Error
 		err := b.Submit(c.task)
@@ -195,12 +195,12 @@
 	for n := range 4 {
 		assert.NilError(t, b.Submit(f.add(0, n, 4000, clock.Hour, 100)))
 	}
-	b.Heard("w0000", 0, nil)
+	b.Heartbeat("w0000", 0, nil)
 	b.Pass(f.now)
 	urgent := f.add(1, 9, 12000, clock.Second, 100)
 	urgent.Urgent = true
 	assert.NilError(t, b.Submit(urgent))
-	b.Heard("w0000", 0, nil)
+	b.Heartbeat("w0000", 0, nil)
 	plan := b.Pass(f.now + 10*clock.Second)
 	for _, a := range plan.Actions {
 		if a.Kind != ActionRenew {
@@ -264,17 +264,17 @@
 			for range length {
 				for _, w := range sortedKeys(f.workers) {
 					for id, r := range f.workers[w].runs {
-						b.Adopt(tasks[id], w, r.attempt, f.now+b.set.LeaseMillis, f.now)
+						b.Adopt(tasks[id], w, r.attempt, f.now+b.settings.LeaseMillis, f.now)
 					}
 				}
-				if f.now >= b.quiet {
+				if f.now >= b.startAfter {
 					for _, id := range sortedKeys(tasks) {
 						if !f.work[id].over {
 							_ = b.Submit(tasks[id])
 						}
 					}
 				}
-				Carry(f, b.Pass(f.now).Actions)
+				Execute(f, b.Pass(f.now).Actions)
 				tick(f, b, 500)
 			}
 		}
@@ -324,13 +324,13 @@
 			}
 		}
 		stops = max(stops, n)
-		Carry(f, plan.Actions)
+		Execute(f, plan.Actions)
 		tick(f, b, 500)
 	}
 	assert.Assert(t, stops <= 2*set.StopsPerPass, "%d stops in one pass", stops)
 	assert.Assert(t, started >= 10 && started <= 16, "urgent work started at step %d", started)
 	for _, id := range ids {
-		assert.Equal(t, b.tasks[id].phase, PhaseOver)
+		assert.Equal(t, b.tasks[id].phase, PhaseFinished)
 	}
 }
 
@@ -344,15 +344,15 @@
 		b.SetContract(teamContract(0, 64000))
 		b.TakeOver(term, f.now)
 		assert.NilError(t, b.Submit(f.add(0, 1, 1000, clock.Second, 100)))
-		f.now = b.quiet
-		b.Heard("w0000", 0, nil)
+		f.now = b.startAfter
+		b.Heartbeat("w0000", 0, nil)
 		actions := b.Pass(f.now).Actions
 		return b, actions[len(actions)-1].Attempt
 	}
 	_, first := start(1)
 	b, second := start(2)
 	assert.Assert(t, first != second)
-	b.Ended("t0-00001", first, OutcomeDone, f.now)
+	b.RunEnded("t0-00001", first, OutcomeDone, f.now)
 	assert.Equal(t, b.tasks["t0-00001"].phase, PhaseRunning)
 }
 
@@ -361,7 +361,7 @@
 func TestGivenUpTaskTakesBlameBack(t *testing.T) {
 	f := newFake(1, 4)
 	set := Defaults()
-	set.AsidePercent = 100
+	set.MaxQuarantinedPercent = 100
 	b := NewPlacer(BestFit{}, Declared{}, ConsecutiveFailures{N: 1}, set)
 	f.fill(b)
 	b.SetContract(teamContract(0, 64000))
@@ -371,13 +371,13 @@
 	given, aside := 0, 0
 	for range 200 {
 		plan := b.Pass(f.now)
-		given, aside = given+len(plan.GivenUp), aside+len(plan.Aside)
-		Carry(f, plan.Actions)
+		given, aside = given+len(plan.GivenUp), aside+len(plan.Quarantined)
+		Execute(f, plan.Actions)
 		tick(f, b, 500)
 	}
 	assert.Equal(t, given, 1)
 	assert.Equal(t, aside, 3)
-	assert.Equal(t, len(b.aside), 0)
+	assert.Equal(t, len(b.quarantined), 0)
 }
 
 // judged runs 300 tasks on 12 workers, one of which fails everything it is
@@ -398,10 +398,10 @@
 	}
 	for range 200 {
 		plan := b.Pass(f.now)
-		for _, a := range plan.Aside {
+		for _, a := range plan.Quarantined {
 			aside = append(aside, a.Worker)
 		}
-		Carry(f, plan.Actions)
+		Execute(f, plan.Actions)
 		tick(f, b, 500)
 	}
 	for _, j := range f.work {
--- /dev/null
+++ b/core/state/place/placer.go
@@ -0,0 +1,348 @@
+package place
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/heap"
+	"camphorridge/core/state/model"
+)
+
+// Placer holds the tasks and workers and decides which tasks start on which
+// workers. It is not safe for concurrent use.
+type Placer[F FitPolicy, S Sizer, J HealthPolicy] struct {
+	fit      F
+	sizer    S
+	health   J
+	settings Settings
+	tasks    map[TaskID]*task
+	workers  map[WorkerID]*worker
+	teams    map[model.Customer]*team
+	classes  map[Class]*ClassHistory
+	// largest is the most of each resource that any worker in service has.
+	largest Size
+	// free indexes the workers by free capacity. preemptible indexes them by
+	// the capacity that would be free without the tasks that urgent work may
+	// preempt.
+	free        capacityIndex
+	preemptible capacityIndex
+	timers      heap.Heap[timer]
+	// toRenew holds the workers whose lease the next pass renews.
+	toRenew map[WorkerID]bool
+	// overcommitted holds the workers whose tasks reserve more than the worker
+	// has.
+	overcommitted map[WorkerID]bool
+	// reserved holds the workers on which capacity is being freed for a task.
+	reserved map[WorkerID]bool
+	// throttled holds the workers with throttled tasks.
+	throttled   map[WorkerID]bool
+	quarantined map[WorkerID]bool
+	// term is the leader's term; attempts of different terms never have the
+	// same number. Nothing is started before startAfter.
+	term       int
+	startAfter clock.Millis
+	// finished lists the tasks that ended, oldest first. Their names are kept
+	// for a while to reject duplicate submissions.
+	finished []TaskID
+	// stops lists the cancelled tasks that have not been told to stop yet.
+	stops []*task
+	// out collects the actions and events for the Plan of the next pass.
+	out Plan
+}
+
+type worker struct {
+	Worker
+	tasks map[TaskID]*task
+	used  Size
+	// preemptible is the part of used that urgent work may preempt.
+	preemptible Size
+	// leaseEnd is the end of the lease that was last sent; the worker itself may
+	// know an earlier end, never a later one.
+	leaseEnd clock.Millis
+	// proven is set once a task has succeeded or has run for the trial time.
+	proven        bool
+	score         float64
+	failuresInRow int
+	quarantinedAt clock.Millis
+	reservedFor   *task
+}
+
+type task struct {
+	Task
+	phase      Phase
+	attempt    int
+	worker     *worker
+	reserved   Size
+	cpuPercent int
+	startedAt  clock.Millis
+	// leaseEnd is the end of the lease that the start was sent under.
+	leaseEnd clock.Millis
+	// pendingAction is the order to checkpoint or stop that has not been
+	// confirmed.
+	pendingAction Action
+	// disrupted is set from a disruption until the task runs at its full size
+	// again.
+	disrupted bool
+	cancelled bool
+	// queued is set while the task is in the heap of its team.
+	queued     bool
+	reservedOn *worker
+	failedOn   []WorkerID
+	// scores holds the scores that the task's failures added to each worker.
+	scores map[WorkerID]float64
+}
+
+// timer is a time at which a worker or a task has to be checked again.
+type timer struct {
+	at     clock.Millis
+	worker WorkerID
+	task   TaskID
+}
+
+// Before orders by time, then by name.
+func (d timer) Before(e timer) bool {
+	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.worker, e.worker), cmp.Compare(d.task, e.task)) < 0
+}
+
+// NewPlacer returns a placer without tasks and workers.
+func NewPlacer[F FitPolicy, S Sizer, J HealthPolicy](fit F, sizer S, health J, settings Settings) *Placer[F, S, J] {
+	settings.MaxFailedWorkers, settings.Lookahead = max(settings.MaxFailedWorkers, 1), max(settings.Lookahead, 1)
+	settings.StopsPerPass, settings.StopPauseMillis = max(settings.StopsPerPass, 1), max(settings.StopPauseMillis, 1)
+	return &Placer[F, S, J]{
+		fit: fit, sizer: sizer, health: health, settings: settings,
+		tasks: map[TaskID]*task{}, workers: map[WorkerID]*worker{}, teams: map[model.Customer]*team{},
+		classes: map[Class]*ClassHistory{}, free: capacityIndex{bucketByWorker: map[WorkerID]int{}}, preemptible: capacityIndex{bucketByWorker: map[WorkerID]int{}},
+		toRenew: map[WorkerID]bool{}, overcommitted: map[WorkerID]bool{}, reserved: map[WorkerID]bool{},
+		throttled: map[WorkerID]bool{}, quarantined: map[WorkerID]bool{},
+	}
+}
+
+// TakeOver sets the term of a new leader. Starts that the previous leader sent
+// may still reach workers until the lease that they were sent under expires;
+// nothing is started until then. Meanwhile the tasks that workers report to run
+// have to be passed to Adopt, and the remaining ones to Submit.
+func (p *Placer[F, S, J]) TakeOver(term int, now clock.Millis) {
+	p.term, p.startAfter = term, now+p.settings.LeaseMillis+p.settings.SkewMillis
+	p.timers.Push(timer{at: p.startAfter})
+}
+
+// SetWorker adds a worker or replaces its description.
+func (p *Placer[F, S, J]) SetWorker(w Worker) {
+	known := p.workers[w.ID]
+	if known == nil {
+		known = &worker{tasks: map[TaskID]*task{}}
+		p.workers[w.ID] = known
+	}
+	known.Worker = w
+	p.largest = Size{}
+	for _, other := range p.workers {
+		if !other.Draining {
+			p.largest = componentMax(p.largest, other.Size)
+		}
+	}
+	p.refreshWorker(known)
+	p.unblockTeams()
+}
+
+// SetContract sets a team's quota and disruption budget.
+func (p *Placer[F, S, J]) SetContract(c model.Contract) {
+	tm := p.teams[c.Customer]
+	if tm == nil {
+		tm = &team{}
+		p.teams[c.Customer] = tm
+	}
+	tm.contract, tm.blocked = c, false
+}
+
+// Run is a task that a worker reports to run.
+type Run struct {
+	Task    TaskID
+	Attempt int
+}
+
+// Heartbeat records that a worker is alive, the end of the lease that it knows
+// of, and all the tasks that it runs. The next pass renews its lease.
+//
+// If a task that the worker should run is missing, either its start or the
+// report of its end was lost. That is certain only when the heartbeat was sent
+// after the end of the lease that the start was sent under, because the worker
+// refuses a start that arrives later.
+func (p *Placer[F, S, J]) Heartbeat(id WorkerID, leaseEnd clock.Millis, runs []Run) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	p.toRenew[id] = true
+	// The worker received the renewal of this time before it sent the
+	// heartbeat.
+	renewedAt := leaseEnd - p.settings.LeaseMillis
+	for _, tid := range sortedKeys(w.tasks) {
+		t := w.tasks[tid]
+		if renewedAt >= t.leaseEnd+p.settings.SkewMillis && !slices.Contains(runs, Run{tid, t.attempt}) {
+			p.detach(t)
+			p.requeue(t)
+		}
+	}
+}
+
+// Submit accepts a task, or rejects at once a task that can never run. The
+// error is of KindImpossible, KindQuota, KindNoContract or KindDuplicate and
+// states the sizes.
+func (p *Placer[F, S, J]) Submit(t Task) error {
+	fail := func(kind Kind, format string, args ...any) error {
+		return &Error{Op: "submit task " + string(t.ID), Kind: kind, Err: fmt.Errorf(format, args...)}
+	}
+	if p.tasks[t.ID] != nil {
+		return fail(KindDuplicate, "a task with this name was submitted before")
+	}
+	tm := p.teams[t.Team]
+	if tm == nil {
+		return fail(KindNoContract, "team %s has no contract", t.Team)
+	}
+	need := p.expectedSize(t)
+	if !need.Fits(tm.contract.Quota) {
+		return fail(KindQuota, "needs %v; the whole quota of team %s is %v", need, t.Team, tm.contract.Quota)
+	}
+	if !p.fitsAnyWorker(need) {
+		return fail(KindImpossible, "needs %v; no worker is that large", need)
+	}
+	accepted := &task{Task: t, cpuPercent: 100}
+	p.tasks[t.ID] = accepted
+	tm.push(accepted)
+	tm.blocked = false
+	return nil
+}
+
+// expectedSize returns what the sizer expects a task to use.
+func (p *Placer[F, S, J]) expectedSize(t Task) Size {
+	s := p.sizer.Estimate(Class{t.Team, t.Class}, t.Declared)
+	return componentMax(s, Size{MilliCores: 1, MemoryMiB: 1})
+}
+
+// reservation returns what is reserved for an accepted task: at most its team's
+// quota and the largest worker, to which the platform confines it. A larger
+// size that is learned later must not make an accepted task impossible to run.
+func (p *Placer[F, S, J]) reservation(t Task) Size {
+	return componentMin(p.expectedSize(t), componentMin(p.teams[t.Team].contract.Quota, p.largest))
+}
+
+func (p *Placer[F, S, J]) fitsAnyWorker(need Size) bool {
+	for _, w := range p.workers {
+		if !w.Draining && need.Fits(w.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel ends tasks: waiting ones at once, running ones by a stop in one of the
+// next passes. Unknown names are ignored.
+func (p *Placer[F, S, J]) Cancel(ids ...TaskID) {
+	for _, id := range ids {
+		t := p.tasks[id]
+		if t == nil || t.cancelled || t.phase == PhaseFinished {
+			continue
+		}
+		t.cancelled = true
+		if t.phase == PhaseWaiting {
+			p.finish(t)
+			continue
+		}
+		p.stops = append(p.stops, t)
+	}
+}
+
+// orderEnd tells a running task to checkpoint or stop. The order is repeated
+// until the end is reported or the worker's lease expires.
+func (p *Placer[F, S, J]) orderEnd(t *task, kind ActionKind, reason string) {
+	t.phase = PhaseStopping
+	p.refreshWorker(t.worker)
+	t.pendingAction = Action{Kind: kind, Worker: t.worker.ID, Task: t.ID, Attempt: t.attempt, Reason: reason}
+	p.out.Actions = append(p.out.Actions, t.pendingAction)
+}
+
+// ReportUsage records what a running task uses. Reports arrive late; those of
+// an earlier attempt are still used to learn the size of the class.
+func (p *Placer[F, S, J]) ReportUsage(id TaskID, attempt int, used Size) {
+	t := p.tasks[id]
+	if t == nil {
+		return
+	}
+	class := Class{t.Team, t.Class}
+	p.sizer.Observe(class, used)
+	if t.attempt != attempt || t.worker == nil {
+		return
+	}
+	if t.cpuPercent < 100 {
+		if used.MilliCores > t.reserved.MilliCores {
+			p.sendThrottle(t, "it still uses more than its share")
+		}
+		return
+	}
+	// The reservation stops growing at the team's quota; the platform confines the task.
+	tm := p.teams[t.Team]
+	available := tm.contract.Quota.Minus(tm.used).Plus(t.reserved)
+	p.resize(t, componentMax(Size{}, componentMin(componentMax(used, p.reservation(t.Task)), available)))
+}
+
+// resize changes what a task on a worker has reserved.
+func (p *Placer[F, S, J]) resize(t *task, to Size) {
+	w, tm := t.worker, p.teams[t.Team]
+	w.used, tm.used = w.used.Minus(t.reserved), tm.used.Minus(t.reserved)
+	shrinks := to.Fits(t.reserved) && to != t.reserved
+	t.reserved = to
+	w.used, tm.used = w.used.Plus(t.reserved), tm.used.Plus(t.reserved)
+	p.refreshWorker(w)
+	if shrinks {
+		p.unblockTeams()
+	}
+}
+
+// unblockTeams lets the next pass try the waiting tasks of all teams again.
+func (p *Placer[F, S, J]) unblockTeams() {
+	for _, tm := range p.teams {
+		tm.blocked = false
+	}
+}
+
+// refreshWorker recomputes a worker's totals and updates its index entries.
+func (p *Placer[F, S, J]) refreshWorker(w *worker) {
+	w.preemptible = Size{}
+	throttled := false
+	for _, t := range w.tasks {
+		if t.phase == PhaseRunning && !t.Urgent {
+			w.preemptible = w.preemptible.Plus(t.reserved)
+		}
+		throttled = throttled || t.cpuPercent < 100
+	}
+	set := func(m map[WorkerID]bool, on bool) {
+		if on {
+			m[w.ID] = true
+		} else {
+			delete(m, w.ID)
+		}
+	}
+	set(p.overcommitted, !w.used.Fits(w.Size))
+	set(p.throttled, throttled)
+	p.updateIndex(w)
+}
+
+// updateIndex sets a worker's entries in the capacity indexes, or removes them
+// if it accepts no tasks.
+func (p *Placer[F, S, J]) updateIndex(w *worker) {
+	if w.Draining || p.quarantined[w.ID] || w.reservedFor != nil {
+		p.free.remove(w.ID)
+		p.preemptible.remove(w.ID)
+		return
+	}
+	available := w.Size.Minus(w.used)
+	p.free.set(w.ID, available)
+	p.preemptible.set(w.ID, available.Plus(w.preemptible))
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/core/state/place/platform.go
+++ b/core/state/place/platform.go
@@ -2,11 +2,11 @@
 
 import "fmt"
 
-// Platform is what runs tasks. Each method returns an error only when the
-// platform certainly did not do what was asked.
+// Platform runs tasks on workers. A method returns an error only when it is
+// certain that the platform did not carry out the action.
 type Platform interface {
-	// Start runs a task. The worker must refuse a start that reaches it after
-	// the action's Until, since the task may run elsewhere by then.
+	// Start runs a task. A worker must refuse a start that arrives after the
+	// action's LeaseEnd, because the task may run on another worker by then.
 	Start(Action) error
 	Renew(Action) error
 	Checkpoint(Action) error
@@ -14,15 +14,16 @@
 	Stop(Action) error
 }
 
-// Refusal is an action that the platform did not carry out.
+// Refusal is an action that the platform did not carry out, with the error that
+// it returned.
 type Refusal struct {
 	Action Action
 	Err    error
 }
 
-// Carry gives the actions to the platform in their order and returns those
-// that it refused.
-func Carry[P Platform](p P, actions []Action) []Refusal {
+// Execute passes the actions to the platform in order and returns those that it
+// refused. The errors are of type *Error and KindPlatform.
+func Execute[P Platform](p P, actions []Action) []Refusal {
 	var out []Refusal
 	for _, a := range actions {
 		var err error
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -8,124 +8,124 @@
 	"camphorridge/core/state/model"
 )
 
-// softLook is the number of workers that are weighed when room is made for an
-// urgent task.
-const softLook = 16
+// maxPreemptionWorkers is the number of workers that are compared when capacity
+// is freed for an urgent task.
+const maxPreemptionWorkers = 16
 
-// victim is a task that gives way, and how.
+// victim is a task to be disrupted, how, and the cost of that.
 type victim struct {
-	t    *task
+	task *task
 	kind ActionKind
 	cost clock.Millis
 }
 
-// makeRoom frees room for an urgent task on the worker where that costs least.
-// The worker takes no other task until the room is there.
-func (b *Placer[F, S, J]) makeRoom(tm *team, t *task, need Size, now clock.Millis) bool {
+// preemptFor frees capacity for an urgent task on the worker where that costs
+// least. The worker gets no other task until the capacity is free.
+func (p *Placer[F, S, J]) preemptFor(tm *team, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
-	least := clock.Millis(0)
-	for _, id := range b.softest(bucketOf(need.MilliCores)) {
-		w := b.workers[id]
-		if !b.usable(w, now) || slices.Contains(t.failedOn, id) || !need.Fits(w.Size.Minus(w.used).Plus(w.soft)) {
+	lowest := clock.Millis(0)
+	for _, id := range p.preemptionWorkers(bucketOf(need.MilliCores)) {
+		w := p.workers[id]
+		if !p.usable(w, now) || slices.Contains(t.failedOn, id) || !need.Fits(w.Size.Minus(w.used).Plus(w.preemptible)) {
 			continue
 		}
 		lack := need.Minus(w.Size.Minus(w.used))
-		list, ok := b.ladder(w, lack, now, func(v *task) bool { return !v.Urgent })
+		candidates, ok := p.selectVictims(w, lack, now, func(v *task) bool { return !v.Urgent })
 		cost := clock.Millis(0)
-		for _, v := range list {
+		for _, v := range candidates {
 			cost += v.cost
 		}
-		if ok && (best == nil || cost < least) {
-			best, victims, least = w, list, cost
+		if ok && (best == nil || cost < lowest) {
+			best, victims, lowest = w, candidates, cost
 		}
 	}
 	if best == nil {
 		tm.limit = LimitBudget
 		return false
 	}
-	best.hold, t.hold = t, best
-	b.holds[best.ID] = true
-	b.disrupt(victims, now, "room for urgent task "+string(t.ID))
-	b.index(best)
+	best.reservedFor, t.reservedOn = t, best
+	p.reserved[best.ID] = true
+	p.disrupt(victims, now, "room for urgent task "+string(t.ID))
+	p.updateIndex(best)
 	if need.Fits(best.Size.Minus(best.used)) {
-		// Throttling frees its room at once.
-		b.unhold(best)
-		b.start(t, best, now)
+		// Throttling frees capacity at once.
+		p.cancelReservation(best)
+		p.start(t, best, now)
 	}
 	return true
 }
 
-// softest lists the workers that would have most room without the tasks that
-// can give way.
-func (b *Placer[F, S, J]) softest(least int) []WorkerID {
+// preemptionWorkers lists the workers that would have the most free capacity
+// without their preemptible tasks.
+func (p *Placer[F, S, J]) preemptionWorkers(least int) []WorkerID {
 	var out []WorkerID
-	for k := len(b.soft.buckets) - 1; k >= least && len(out) < softLook; k-- {
-		list := b.soft.buckets[k]
-		out = append(out, list[:min(len(list), softLook-len(out))]...)
+	for k := len(p.preemptible.buckets) - 1; k >= least && len(out) < maxPreemptionWorkers; k-- {
+		list := p.preemptible.buckets[k]
+		out = append(out, list[:min(len(list), maxPreemptionWorkers-len(out))]...)
 	}
 	return out
 }
 
-// relieveFull makes tasks give way on a worker whose tasks use more than it
-// has, as far as budgets allow. Tasks that are ending already count as gone.
-func (b *Placer[F, S, J]) relieveFull(w *worker, now clock.Millis) {
+// relieveOvercommitted disrupts tasks on a worker whose tasks use more than it
+// has, as far as budgets allow. Tasks that are stopping count as gone.
+func (p *Placer[F, S, J]) relieveOvercommitted(w *worker, now clock.Millis) {
 	lack := w.used.Minus(w.Size)
 	for _, t := range w.tasks {
-		if t.phase == PhaseEnding {
-			lack = lack.Minus(t.reserve)
+		if t.phase == PhaseStopping {
+			lack = lack.Minus(t.reserved)
 		}
 	}
 	if lack.Fits(Size{}) {
 		return
 	}
-	victims, _ := b.ladder(w, lack, now, func(*task) bool { return true })
-	b.disrupt(victims, now, "worker "+string(w.ID)+" is used beyond its size")
+	victims, _ := p.selectVictims(w, lack, now, func(*task) bool { return true })
+	p.disrupt(victims, now, "worker "+string(w.ID)+" is used beyond its size")
 }
 
-// ladder picks the tasks that give way until the lack is covered: checkpoints
-// first, since no work is lost, then throttling, then stops. Each step is
-// bounded by the disruption budget of the task's team. It reports whether the
-// lack is covered.
-func (b *Placer[F, S, J]) ladder(w *worker, lack Size, now clock.Millis, may func(*task) bool) ([]victim, bool) {
+// selectVictims picks the tasks to disrupt until the lack is covered:
+// checkpoints first, since no work is lost, then throttling, then stops. Each
+// disruption has to be within the budget of the task's team. It reports whether
+// the lack is covered.
+func (p *Placer[F, S, J]) selectVictims(w *worker, lack Size, now clock.Millis, allowed func(*task) bool) ([]victim, bool) {
 	var out []victim
 	extra := map[model.Customer]int{}
 	pending := map[model.Customer]clock.Millis{}
 	taken := map[*task]bool{}
 	for _, kind := range []ActionKind{ActionCheckpoint, ActionThrottle, ActionStop} {
-		for _, t := range b.orderOf(w, kind, now) {
+		for _, t := range p.victimsFor(w, kind, now) {
 			if lack.Fits(Size{}) {
 				return out, true
 			}
-			gain, cost := b.gives(t, kind, now)
-			tm := b.teams[t.Team]
-			if taken[t] || !may(t) || !helps(gain, lack) || !tm.affords(now, cost, extra[t.Team], pending[t.Team]) {
+			gain, cost := p.gainAndCost(t, kind, now)
+			tm := p.teams[t.Team]
+			if taken[t] || !allowed(t) || !helps(gain, lack) || !tm.allowsDisruption(now, cost, extra[t.Team], pending[t.Team]) {
 				continue
 			}
 			taken[t] = true
 			extra[t.Team]++
 			pending[t.Team] += cost
 			lack = lack.Minus(gain)
-			out = append(out, victim{t: t, kind: kind, cost: cost})
+			out = append(out, victim{task: t, kind: kind, cost: cost})
 		}
 	}
 	return out, lack.Fits(Size{})
 }
 
-// helps reports whether the gain covers a part of what is lacking.
+// helps reports whether the gain covers part of the lack.
 func helps(gain, lack Size) bool {
 	return (lack.MilliCores > 0 && gain.MilliCores > 0) || (lack.MemoryMiB > 0 && gain.MemoryMiB > 0) ||
 		(lack.Accelerators > 0 && gain.Accelerators > 0)
 }
 
-// orderOf lists the worker's running tasks that can bear the step, those of
-// least priority and least cost first.
-func (b *Placer[F, S, J]) orderOf(w *worker, kind ActionKind, now clock.Millis) []*task {
+// victimsFor lists the worker's running tasks to which the action can be
+// applied, those with the lowest priority and cost first and urgent ones last.
+func (p *Placer[F, S, J]) victimsFor(w *worker, kind ActionKind, now clock.Millis) []*task {
 	var out []*task
 	for _, id := range sortedKeys(w.tasks) {
 		t := w.tasks[id]
-		bears := kind == ActionStop || (kind == ActionCheckpoint && t.Checkpoints) || (kind == ActionThrottle && t.Throttles && t.percent == 100)
-		if t.phase == PhaseRunning && bears {
+		applicable := kind == ActionStop || (kind == ActionCheckpoint && t.CanCheckpoint) || (kind == ActionThrottle && t.CanThrottle && t.cpuPercent == 100)
+		if t.phase == PhaseRunning && applicable {
 			out = append(out, t)
 		}
 	}
@@ -136,70 +136,73 @@
 			}
 			return 1
 		}
-		_, cx := b.gives(x, kind, now)
-		_, cy := b.gives(y, kind, now)
+		_, cx := p.gainAndCost(x, kind, now)
+		_, cy := p.gainAndCost(y, kind, now)
 		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(cx, cy))
 	})
 	return out
 }
 
-// throttledPercent is what a throttled task keeps of its processors.
+// throttledPercent is the share of its processors that a throttled task keeps.
 const throttledPercent = 50
 
-// gives is the room that a step frees and the time that it costs the task.
-func (b *Placer[F, S, J]) gives(t *task, kind ActionKind, now clock.Millis) (Size, clock.Millis) {
+// gainAndCost returns the capacity that an action frees and the time that it
+// costs the task.
+func (p *Placer[F, S, J]) gainAndCost(t *task, kind ActionKind, now clock.Millis) (Size, clock.Millis) {
 	switch kind {
 	case ActionCheckpoint:
-		return t.reserve, b.set.CheckpointMillis
+		return t.reserved, p.settings.CheckpointMillis
 	case ActionThrottle:
-		return Size{MilliCores: t.reserve.MilliCores * (100 - throttledPercent) / 100}, b.set.ThrottleMillis
+		return Size{MilliCores: t.reserved.MilliCores * (100 - throttledPercent) / 100}, p.settings.ThrottleMillis
 	default:
-		return t.reserve, now - t.started
+		return t.reserved, now - t.startedAt
 	}
 }
 
-// disrupt carries the steps out on the board and orders them.
-func (b *Placer[F, S, J]) disrupt(victims []victim, now clock.Millis, reason string) {
+// disrupt applies the disruptions, charges them to their teams' budgets and
+// adds the actions to the plan.
+func (p *Placer[F, S, J]) disrupt(victims []victim, now clock.Millis, reason string) {
 	for _, v := range victims {
-		tm := b.teams[v.t.Team]
-		tm.spent = append(tm.spent, expense{at: now, cost: v.cost})
-		tm.setDisrupted(v.t, true)
+		tm := p.teams[v.task.Team]
+		tm.disruptionCosts = append(tm.disruptionCosts, disruptionCost{at: now, cost: v.cost})
+		tm.setDisrupted(v.task, true)
 		if v.kind != ActionThrottle {
-			b.order(v.t, v.kind, reason)
-			b.due.Push(due{at: now + b.set.LeaseMillis/2, task: v.t.ID})
+			p.orderEnd(v.task, v.kind, reason)
+			p.timers.Push(timer{at: now + p.settings.LeaseMillis/2, task: v.task.ID})
 			continue
 		}
-		gain, _ := b.gives(v.t, v.kind, now)
-		v.t.percent = throttledPercent
-		b.resize(v.t, v.t.reserve.Minus(gain))
-		b.throttle(v.t, reason)
+		gain, _ := p.gainAndCost(v.task, v.kind, now)
+		v.task.cpuPercent = throttledPercent
+		p.resize(v.task, v.task.reserved.Minus(gain))
+		p.sendThrottle(v.task, reason)
 	}
 }
 
-func (b *Placer[F, S, J]) throttle(t *task, reason string) {
-	b.out.Actions = append(b.out.Actions, Action{
-		Kind: ActionThrottle, Worker: t.worker.ID, Task: t.ID, Attempt: t.attempt, Percent: t.percent, Reason: reason,
+// sendThrottle adds an action to the plan that sets the task's processor share.
+func (p *Placer[F, S, J]) sendThrottle(t *task, reason string) {
+	p.out.Actions = append(p.out.Actions, Action{
+		Kind: ActionThrottle, Worker: t.worker.ID, Task: t.ID, Attempt: t.attempt, CPUPercent: t.cpuPercent, Reason: reason,
 	})
 }
 
-// restoreThrottled gives throttled tasks their full size back where there is
-// room again that no held task needs.
-func (b *Placer[F, S, J]) restoreThrottled() {
-	for _, id := range sortedKeys(b.slack) {
-		w := b.workers[id]
-		if w.hold != nil {
+// restoreThrottled gives throttled tasks their full size back where it fits
+// again, except on workers that are reserved for a task.
+func (p *Placer[F, S, J]) restoreThrottled() {
+	for _, id := range sortedKeys(p.throttled) {
+		w := p.workers[id]
+		if w.reservedFor != nil {
 			continue
 		}
 		for _, tid := range sortedKeys(w.tasks) {
 			t := w.tasks[tid]
-			whole := b.estimate(t.Task)
-			if t.percent == 100 || t.phase != PhaseRunning || !whole.Minus(t.reserve).Fits(w.Size.Minus(w.used)) {
+			full := p.reservation(t.Task)
+			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).Fits(w.Size.Minus(w.used)) {
 				continue
 			}
-			t.percent = 100
-			b.resize(t, whole)
-			b.teams[t.Team].setDisrupted(t, false)
-			b.throttle(t, "there is room again")
+			t.cpuPercent = 100
+			p.resize(t, full)
+			p.teams[t.Team].setDisrupted(t, false)
+			p.sendThrottle(t, "there is room again")
 		}
 	}
 }
--- /dev/null
+++ b/core/state/place/run_end.go
@@ -0,0 +1,192 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+
+	"camphorridge/core/state/clock"
+)
+
+// maxFinished is the number of finished tasks whose names are kept. Submitters
+// send a task again within minutes; at the target scale that is a few thousand
+// tasks.
+const maxFinished = 10_000
+
+// RunEnded records that a run of a task ended. Reports of earlier attempts are
+// ignored.
+func (p *Placer[F, S, J]) RunEnded(id TaskID, attempt int, o Outcome, now clock.Millis) {
+	t := p.tasks[id]
+	if t == nil || t.attempt != attempt || t.worker == nil {
+		return
+	}
+	w := t.worker
+	p.detach(t)
+	switch o {
+	case OutcomeDone:
+		p.recordRun(w, t, false, now)
+		p.finish(t)
+	case OutcomeFailed:
+		p.recordRun(w, t, true, now)
+		if !slices.Contains(t.failedOn, w.ID) {
+			t.failedOn = append(t.failedOn, w.ID)
+		}
+		if len(t.failedOn) >= p.settings.MaxFailedWorkers || !p.hasUntriedWorker(t) {
+			p.giveUp(t)
+			return
+		}
+		p.requeue(t)
+	default:
+		p.requeue(t)
+	}
+}
+
+// hasUntriedWorker reports whether there is a worker, neither draining nor
+// quarantined, on which the task has not failed.
+func (p *Placer[F, S, J]) hasUntriedWorker(t *task) bool {
+	for id, w := range p.workers {
+		if !w.Draining && !p.quarantined[id] && !slices.Contains(t.failedOn, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// detach removes a task from its worker and releases what it had reserved.
+func (p *Placer[F, S, J]) detach(t *task) {
+	w, tm := t.worker, p.teams[t.Team]
+	delete(w.tasks, t.ID)
+	w.used, tm.used = w.used.Minus(t.reserved), tm.used.Minus(t.reserved)
+	t.worker, t.reserved, t.cpuPercent, t.pendingAction = nil, Size{}, 100, Action{}
+	p.refreshWorker(w)
+	p.unblockTeams()
+}
+
+// requeue makes a task wait for its next start; a cancelled task is finished
+// instead.
+func (p *Placer[F, S, J]) requeue(t *task) {
+	if t.cancelled {
+		p.finish(t)
+		return
+	}
+	t.phase = PhaseWaiting
+	p.teams[t.Team].push(t)
+}
+
+// finish ends a task for good and forgets the oldest finished one beyond
+// maxFinished.
+func (p *Placer[F, S, J]) finish(t *task) {
+	p.teams[t.Team].setDisrupted(t, false)
+	t.phase = PhaseFinished
+	if t.reservedOn != nil {
+		p.cancelReservation(t.reservedOn)
+	}
+	p.finished = append(p.finished, t.ID)
+	if len(p.finished) > maxFinished {
+		delete(p.tasks, p.finished[0])
+		p.finished = p.finished[1:]
+	}
+}
+
+// giveUp ends a task that failed on several workers. Its failures are
+// subtracted from the scores of those workers because the task is the cause,
+// not the workers.
+func (p *Placer[F, S, J]) giveUp(t *task) {
+	for id, n := range t.scores {
+		w := p.workers[id]
+		w.score = max(0, w.score-n)
+		if p.quarantined[id] && w.score < p.health.Threshold() {
+			p.endQuarantine(w)
+		}
+	}
+	p.out.GivenUp = append(p.out.GivenUp, GivenUp{
+		Task: t.ID, Reason: fmt.Sprintf("failed on %d workers: %v", len(t.failedOn), t.failedOn),
+	})
+	p.finish(t)
+}
+
+// recordRun scores a run against its worker and quarantines the worker when the
+// sum reaches the threshold.
+func (p *Placer[F, S, J]) recordRun(w *worker, t *task, failed bool, now clock.Millis) {
+	class := Class{t.Team, t.Class}
+	r := p.classes[class]
+	if r == nil {
+		r = NewClassHistory()
+		p.classes[class] = r
+	}
+	n := p.health.Score(r.Evidence(w.ID, failed))
+	r.Add(w.ID, failed)
+	w.score = max(0, w.score+n)
+	if !failed {
+		w.failuresInRow, w.proven = 0, true
+		return
+	}
+	w.failuresInRow++
+	if t.scores == nil {
+		t.scores = map[WorkerID]float64{}
+	}
+	t.scores[w.ID] += n
+	if w.score < p.health.Threshold() || p.quarantined[w.ID] || (len(p.quarantined)+1)*100 > max(100, len(p.workers)*p.settings.MaxQuarantinedPercent) {
+		return
+	}
+	p.quarantined[w.ID] = true
+	w.quarantinedAt = now
+	p.out.Quarantined = append(p.out.Quarantined, Quarantine{Worker: w.ID, Reason: w.quarantineReason(p.health.Threshold())})
+	p.timers.Push(timer{at: now + p.settings.QuarantineMillis, worker: w.ID})
+	if w.reservedFor != nil {
+		p.cancelReservation(w)
+	}
+	p.updateIndex(w)
+}
+
+// endQuarantine lets a quarantined worker run tasks again.
+func (p *Placer[F, S, J]) endQuarantine(w *worker) {
+	delete(p.quarantined, w.ID)
+	w.failuresInRow, w.proven = 0, false
+	p.updateIndex(w)
+	p.unblockTeams()
+}
+
+// cancelReservation stops freeing capacity for a task on a worker.
+func (p *Placer[F, S, J]) cancelReservation(w *worker) {
+	t := w.reservedFor
+	w.reservedFor, t.reservedOn = nil, nil
+	delete(p.reserved, w.ID)
+	p.updateIndex(w)
+	if t.phase == PhaseWaiting {
+		p.teams[t.Team].push(t)
+	}
+}
+
+// expireLease ends the lease of a worker whose heartbeats stopped. Its runs
+// have ended by then, so its tasks may start on other workers. Their lost time
+// counts against the same budget as deliberate disruptions.
+func (p *Placer[F, S, J]) expireLease(w *worker, now clock.Millis) {
+	for _, id := range sortedKeys(w.tasks) {
+		t := w.tasks[id]
+		tm := p.teams[t.Team]
+		tm.disruptionCosts = append(tm.disruptionCosts, disruptionCost{at: now, cost: now - t.startedAt})
+		tm.setDisrupted(t, true)
+		p.detach(t)
+		p.requeue(t)
+	}
+	if w.reservedFor != nil {
+		p.cancelReservation(w)
+	}
+}
+
+// Adopt adds a running task that its worker reported to a new leader. leaseEnd
+// is the end of the worker's lease, and started the start of the run.
+func (p *Placer[F, S, J]) Adopt(t Task, w WorkerID, attempt int, leaseEnd, started clock.Millis) {
+	on, tm := p.workers[w], p.teams[t.Team]
+	if on == nil || tm == nil || p.tasks[t.ID] != nil {
+		return
+	}
+	adopted := &task{Task: t, phase: PhaseRunning, attempt: attempt, worker: on, cpuPercent: 100, startedAt: started, leaseEnd: leaseEnd}
+	p.tasks[t.ID] = adopted
+	on.tasks[t.ID] = adopted
+	if leaseEnd > on.leaseEnd {
+		on.leaseEnd = leaseEnd
+		p.timers.Push(timer{at: leaseEnd + p.settings.SkewMillis, worker: w})
+	}
+	p.resize(adopted, p.reservation(t))
+}
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -5,79 +5,82 @@
 	"camphorridge/core/state/model"
 )
 
-// Names of the objects of the package.
+// Identifiers and sizes of the package.
 type (
-	// TaskID names a task.
+	// TaskID is the name of a task.
 	TaskID string
-	// WorkerID names a machine that runs tasks.
+	// WorkerID is the name of a machine that runs tasks.
 	WorkerID string
 	// Size is an amount of processors, memory and accelerators.
 	Size = model.Quota
 )
 
-// Settings are the figures of task placement.
+// Settings are the parameters of task placement.
 type Settings struct {
-	// LeaseMillis is how long a worker may run tasks after it was last heard.
+	// LeaseMillis is how long a worker may run tasks after its last heartbeat.
 	LeaseMillis clock.Millis
-	// SkewMillis bounds by how much a worker's clock may run slow within a
-	// lease.
+	// SkewMillis is the largest amount by which a worker's clock may fall
+	// behind within one lease.
 	SkewMillis clock.Millis
 	// CheckpointMillis is the time that a checkpoint and the restart from it
-	// cost a task; ThrottleMillis is what a throttling is counted as.
+	// cost a task. ThrottleMillis is the cost charged for one throttling.
 	CheckpointMillis clock.Millis
 	ThrottleMillis   clock.Millis
-	// AsideMillis is how long a worker stays set aside before it is tried
-	// again with one task.
-	AsideMillis clock.Millis
-	// TrialTasks bounds the tasks on a worker that has not run any yet, until
-	// one ended well or ran for TrialMillis. It bounds what a worker that
-	// fails everything takes with it at once.
+	// QuarantineMillis is how long a worker stays quarantined before it is
+	// tried again with a single task.
+	QuarantineMillis clock.Millis
+	// TrialTasks is the most tasks at once on an unproven worker. A worker is
+	// proven once one of its tasks succeeded or has run for TrialMillis. It
+	// limits how many tasks a worker that fails everything can fail at once.
 	TrialTasks  int
 	TrialMillis clock.Millis
-	// AsidePercent bounds the share of workers that are set aside at once. More
-	// failing at the same time have a common cause that no worker is to blame
-	// for.
-	AsidePercent int
-	// FailMost is the number of different workers that a task may fail on
-	// before it is given up; at least 1.
-	FailMost int
-	// Lookahead is the number of a team's waiting tasks that are tried when
-	// the first does not fit; at least 1.
+	// MaxQuarantinedPercent is the largest share of workers that are
+	// quarantined at once. More failing workers than that have a common cause
+	// outside them.
+	MaxQuarantinedPercent int
+	// MaxFailedWorkers is the number of different workers on which a task may
+	// fail before it is given up; at least 1.
+	MaxFailedWorkers int
+	// Lookahead is the number of waiting tasks of a team that are tried when
+	// the first one cannot start; at least 1.
 	Lookahead int
-	// StopsPerPass bounds the stops that cancellations lead to in one pass, so
-	// that a wave of them does not hold up starts; the rest follow after
-	// StopPauseMillis.
+	// StopsPerPass is the most stops that cancellations cause in one pass, so
+	// that many cancellations at once do not delay starts. The remaining stops
+	// follow after StopPauseMillis.
 	StopsPerPass    int
 	StopPauseMillis clock.Millis
-	// Scan turns the index of free room off: every choice looks at all
-	// workers. It is there to measure what the index saves.
-	Scan bool
+	// FullScan disables the index of free capacity: each choice examines all
+	// workers. It exists to measure what the index saves.
+	FullScan bool
 }
 
-// Defaults are the settings that the benchmarks use.
+// Defaults returns the settings that the benchmarks use.
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 10 * clock.Second, SkewMillis: clock.Second, CheckpointMillis: 5 * clock.Second,
-		ThrottleMillis: 5 * clock.Second, AsideMillis: 10 * clock.Minute, TrialTasks: 4, TrialMillis: 10 * clock.Second, AsidePercent: 20, FailMost: 3, Lookahead: 8,
+		ThrottleMillis: 5 * clock.Second, QuarantineMillis: 10 * clock.Minute, TrialTasks: 4, TrialMillis: 10 * clock.Second, MaxQuarantinedPercent: 20, MaxFailedWorkers: 3, Lookahead: 8,
 		StopsPerPass: 200, StopPauseMillis: 100,
 	}
 }
 
-// Task is a piece of work.
+// Task is a unit of work that runs on one worker.
 type Task struct {
 	ID   TaskID
 	Team model.Customer
-	// Class groups tasks of a team that are alike; sizes are learnt by it.
+	// Class groups the similar tasks of a team. Sizes and failure rates are
+	// learned per class.
 	Class    string
 	Urgent   bool
 	Priority int
-	// Declared is what the submitter says. It counts only until tasks of the
-	// class were seen running.
-	Declared  Size
+	// Declared is the size that the submitter states. It counts only until the
+	// sizer has observed enough runs of the class.
+	Declared Size
+	// Submitted is the time of the submission.
 	Submitted clock.Millis
-	// Checkpoints and Throttles say what the task can bear.
-	Checkpoints bool
-	Throttles   bool
+	// CanCheckpoint says that the task can save its work and resume later;
+	// CanThrottle says that it can run with fewer processors.
+	CanCheckpoint bool
+	CanThrottle   bool
 }
 
 // Phase is the state of a task.
@@ -85,14 +88,15 @@
 
 // The phases of a task.
 const (
-	// PhaseWaiting: not on any worker.
+	// PhaseWaiting: the task is not on any worker.
 	PhaseWaiting Phase = iota
-	// PhaseRunning: started on a worker whose lease lasts.
+	// PhaseRunning: the task was started on a worker whose lease has not
+	// expired.
 	PhaseRunning
-	// PhaseEnding: told to checkpoint or stop; it may still run.
-	PhaseEnding
-	// PhaseOver: ended for good.
-	PhaseOver
+	// PhaseStopping: the task was told to checkpoint or stop and may still run.
+	PhaseStopping
+	// PhaseFinished: the task will not run again.
+	PhaseFinished
 )
 
 // Worker is a machine that runs tasks.
@@ -101,11 +105,12 @@
 	Zone model.Zone
 	Rack model.Rack
 	Size Size
-	// Gone takes the worker out of use; what runs on it is left to end.
-	Gone bool
+	// Draining excludes the worker from new tasks. The tasks that it runs may
+	// finish.
+	Draining bool
 }
 
-// ActionKind tells the actions apart.
+// ActionKind is the kind of an Action.
 type ActionKind string
 
 // The actions.
@@ -117,34 +122,36 @@
 	ActionStop       ActionKind = "stop"
 )
 
-// Action is something the platform is to do.
+// Action is an instruction to the platform.
 type Action struct {
 	Kind   ActionKind
 	Worker WorkerID
 	Task   TaskID
-	// Attempt numbers the starts of a task from 1; the platform repeats it in
-	// its reports, so that late reports of an earlier start are told apart.
+	// Attempt numbers the starts of a task from 1. The platform repeats it in
+	// its reports, so that late reports of an earlier attempt are recognised.
 	Attempt int
 	Size    Size
-	// Percent is the share of its size that a throttled task keeps.
-	Percent int
-	// Until is the end of the worker's lease.
-	Until  clock.Millis
-	Reason string
+	// CPUPercent is the share of its reserved processors that a throttled task
+	// keeps.
+	CPUPercent int
+	// LeaseEnd is the time at which the worker's lease expires.
+	LeaseEnd clock.Millis
+	Reason   string
 }
 
-// Limit names what keeps a task waiting.
+// Limit names what prevents a waiting task from starting.
 type Limit string
 
 // The limits.
 const (
-	LimitQuota  Limit = "quota"
-	LimitRoom   Limit = "room"
-	LimitBudget Limit = "disruption-budget"
-	LimitHeld   Limit = "room-being-made"
+	LimitQuota     Limit = "quota"
+	LimitCapacity  Limit = "room"
+	LimitBudget    Limit = "disruption-budget"
+	LimitReserving Limit = "room-being-made"
 )
 
-// Wait says why the first waiting task of a team does not start.
+// Wait explains why the first waiting task of a team does not start. Unblock
+// says what would let it start.
 type Wait struct {
 	Team    model.Customer
 	Task    TaskID
@@ -153,26 +160,27 @@
 	Unblock string
 }
 
-// GivenUp is a task that the system will not run again, and why.
+// GivenUp is a task that will not be run again, and the reason.
 type GivenUp struct {
 	Task   TaskID
 	Reason string
 }
 
-// Aside is a worker that gets no new work, and why.
-type Aside struct {
+// Quarantine is a worker that gets no new tasks, and the reason.
+type Quarantine struct {
 	Worker WorkerID
 	Reason string
 }
 
-// Plan is the outcome of a pass.
+// Plan is the result of a pass.
 type Plan struct {
-	Actions []Action
-	Waits   []Wait
-	GivenUp []GivenUp
-	Aside   []Aside
-	// Wake is when the next pass is needed if nothing changes; 0 for never.
-	Wake clock.Millis
+	Actions     []Action
+	Waits       []Wait
+	GivenUp     []GivenUp
+	Quarantined []Quarantine
+	// NextPass is when the next pass is needed if nothing changes; 0 means
+	// never.
+	NextPass clock.Millis
 }
 
 // Outcome is how a run of a task ended.
@@ -182,13 +190,15 @@
 const (
 	OutcomeDone Outcome = iota
 	OutcomeFailed
-	// OutcomeCheckpointed: stopped with its work saved.
+	// OutcomeCheckpointed: the run stopped with its work saved.
 	OutcomeCheckpointed
-	// OutcomeStopped: stopped on request, or the worker's lease ran out.
+	// OutcomeStopped: the run was stopped on request, or the worker's lease
+	// expired.
 	OutcomeStopped
 )
 
-func larger(a, b Size) Size {
+// componentMax returns the larger amount of each resource.
+func componentMax(a, b Size) Size {
 	return Size{
 		MilliCores:   max(a.MilliCores, b.MilliCores),
 		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
@@ -196,7 +206,8 @@
 	}
 }
 
-func smaller(a, b Size) Size {
+// componentMin returns the smaller amount of each resource.
+func componentMin(a, b Size) Size {
 	return Size{
 		MilliCores:   min(a.MilliCores, b.MilliCores),
 		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
--- a/core/state/place/team.go
+++ b/core/state/place/team.go
@@ -8,44 +8,45 @@
 	"camphorridge/core/state/model"
 )
 
-// team is a customer's tasks, quota and disruption budget.
+// team is a customer with its waiting tasks, quota use and disruption budget.
 type team struct {
 	contract model.Contract
 	used     Size
-	// waiting also holds cancelled tasks until they surface.
-	waiting heap.Heap[queued]
-	// blocked is set while nothing changed that could let the first waiting
-	// task start, and limit is why.
+	// waiting may hold cancelled tasks; firstWaiting removes them when they
+	// reach the top.
+	waiting heap.Heap[queuedTask]
+	// blocked is set while nothing has changed that could let the first waiting
+	// task start. limit is the reason.
 	blocked bool
 	limit   Limit
-	// disrupted counts the tasks that are disrupted now.
-	disrupted int
-	spent     []expense
+	// disrupted counts the team's tasks that are disrupted now.
+	disrupted       int
+	disruptionCosts []disruptionCost
 }
 
-// expense is the time that a disruption cost.
-type expense struct {
+// disruptionCost is the task time that one disruption cost.
+type disruptionCost struct {
 	at   clock.Millis
 	cost clock.Millis
 }
 
-// queued is a waiting task in its team's queue.
-type queued struct {
+// queuedTask is a waiting task in the heap of its team.
+type queuedTask struct {
 	*task
 }
 
-// Before orders by urgency, priority, submission and name.
-func (q queued) Before(r queued) bool {
+// Before orders by urgency, priority, submission time and name.
+func (q queuedTask) Before(r queuedTask) bool {
 	if q.Urgent != r.Urgent {
 		return q.Urgent
 	}
 	return cmp.Or(cmp.Compare(r.Priority, q.Priority), cmp.Compare(q.Submitted, r.Submitted), cmp.Compare(q.ID, r.ID)) < 0
 }
 
-// head returns the first waiting task; nil when there is none.
-func (tm *team) head() *task {
+// firstWaiting returns the first waiting task, or nil if there is none.
+func (tm *team) firstWaiting() *task {
 	for tm.waiting.Len() > 0 {
-		if t := tm.waiting.Top().task; t.phase == PhaseWaiting && t.hold == nil {
+		if t := tm.waiting.Top().task; t.phase == PhaseWaiting && t.reservedOn == nil {
 			return t
 		}
 		tm.pop()
@@ -57,7 +58,7 @@
 	tm.blocked = false
 	if !t.queued {
 		t.queued = true
-		tm.waiting.Push(queued{t})
+		tm.waiting.Push(queuedTask{t})
 	}
 }
 
@@ -65,8 +66,9 @@
 	tm.waiting.Pop().queued = false
 }
 
-// share is the largest part of its quota that the team holds of any resource.
-func (tm *team) share() float64 {
+// quotaShare returns the largest share of its quota that the team uses of any
+// resource.
+func (tm *team) quotaShare() float64 {
 	of := func(used, quota int) float64 {
 		if quota == 0 {
 			return 0
@@ -77,6 +79,7 @@
 	return max(of(tm.used.MilliCores, q.MilliCores), of(tm.used.MemoryMiB, q.MemoryMiB), of(tm.used.Accelerators, q.Accelerators))
 }
 
+// setDisrupted marks a task as disrupted or not and keeps the count.
 func (tm *team) setDisrupted(t *task, on bool) {
 	if t.disrupted == on {
 		return
@@ -89,27 +92,28 @@
 	}
 }
 
-// affords reports whether the contract bears one more disruption of that cost
-// on top of extra ones that are being considered.
-func (tm *team) affords(now, cost clock.Millis, extra int, pending clock.Millis) bool {
+// allowsDisruption reports whether the contract allows one more disruption of
+// the given cost, on top of extra disruptions with the total cost pending that
+// are already selected.
+func (tm *team) allowsDisruption(now, cost clock.Millis, extra int, pending clock.Millis) bool {
 	c := tm.contract
 	if tm.disrupted+extra+1 > c.MaxUnavailable {
 		return false
 	}
-	return c.WindowMillis == 0 || tm.spentIn(now)+pending+cost <= c.BudgetMillis
+	return c.WindowMillis == 0 || tm.costInWindow(now)+pending+cost <= c.BudgetMillis
 }
 
-// spentIn sums up the disruptions of the window that ends now and forgets
-// older ones.
-func (tm *team) spentIn(now clock.Millis) clock.Millis {
+// costInWindow returns the total cost of the disruptions in the window that
+// ends now, and drops older ones.
+func (tm *team) costInWindow(now clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
-	kept := tm.spent[:0]
-	for _, e := range tm.spent {
+	kept := tm.disruptionCosts[:0]
+	for _, e := range tm.disruptionCosts {
 		if e.at > now-tm.contract.WindowMillis {
 			kept = append(kept, e)
 			sum += e.cost
 		}
 	}
-	tm.spent = kept
+	tm.disruptionCosts = kept
 	return sum
 }
