Word the source of core/state/plan in terms of pools and failure domains

The package spoke of a book, a ledger, towers, seats, spots and classes. Reasons in moves, gaps and choices stay letter for letter.

--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -53,7 +53,7 @@
 func checkSettled(t *rapid.T, w *world, set Settings) {
 	a := Decide(Spread{}, set, w.book, nil)
 	need := 0
-	for _, n := range w.book.l.need {
+	for _, n := range w.book.counts.required {
 		need += n
 	}
 	short := 0
@@ -110,16 +110,16 @@
 			b.SetInstance(i, in.Lost[i.ID])
 		}
 		short, spare, exposed := 0, 0, 0
-		for p, need := range b.l.need {
-			if b.l.spares[p] {
-				spare += max(0, need-b.l.have[p])
+		for p, need := range b.counts.required {
+			if b.counts.spares[p] {
+				spare += max(0, need-b.counts.instances[p])
 			} else {
-				short += max(0, need-b.l.have[p])
+				short += max(0, need-b.counts.instances[p])
 			}
 		}
-		for _, g := range b.l.groups {
-			for _, kind := range kinds {
-				n, _ := b.l.worst(g, kind)
+		for _, g := range b.counts.groups {
+			for _, kind := range domainKinds {
+				n, _ := b.counts.worstLoss(g, kind)
 				exposed += n
 			}
 		}
@@ -196,9 +196,9 @@
 			w.state.Instances[id] = i
 			w.book.SetInstance(i, false)
 		}
-		g := w.book.l.groups["spare"]
+		g := w.book.counts.groups["spare"]
 		for _, zone := range []string{"z00", "z01", "z02"} {
-			want := w.book.l.missing(g, model.DomainZone, zone)
+			want := w.book.counts.missingAfterLoss(g, model.DomainZone, zone)
 			in := func(i model.Instance) bool { return string(i.Zone) == zone }
 			w.lose(in, true)
 			got, _ := missingOf(Decide(Spread{}, Settings{}, w.book, nil))
@@ -207,9 +207,9 @@
 				t.Fatalf("the loss of %s leaves %d missing; stated were %d", zone, got, want)
 			}
 		}
-		worst, _ := w.book.l.worst(g, model.DomainZone)
+		worst, _ := w.book.counts.worstLoss(g, model.DomainZone)
 		for _, zone := range []string{"z00", "z01", "z02"} {
-			worst -= max(0, w.book.l.missing(g, model.DomainZone, zone)-worst) * 1000
+			worst -= max(0, w.book.counts.missingAfterLoss(g, model.DomainZone, zone)-worst) * 1000
 		}
 		if worst < 0 {
 			t.Fatal("a domain is worse than the stated worst one")
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -20,7 +20,7 @@
 // after, and the return of all; means over 20 seeds.
 func BenchmarkRepair(b *testing.B) {
 	for _, f := range fleets {
-		repair(b, f.name+"/first-name", FirstName{}, f.covers, f.sizes)
+		repair(b, f.name+"/first-name", FirstByName{}, f.covers, f.sizes)
 		repair(b, f.name+"/spread", Spread{}, f.covers, f.sizes)
 		repair(b, f.name+"/balance", Balance{}, f.covers, f.sizes)
 	}
@@ -63,7 +63,7 @@
 
 // BenchmarkGap reports how far each policy is from the optimum of tiny fleets.
 func BenchmarkGap(b *testing.B) {
-	gap(b, "first-name", FirstName{})
+	gap(b, "first-name", FirstByName{})
 	gap(b, "spread", Spread{})
 	gap(b, "balance", Balance{})
 }
--- /dev/null
+++ b/core/state/plan/counts.go
@@ -0,0 +1,313 @@
+package plan
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/model"
+)
+
+// counts holds the number of instances of each pool, in total and by failure
+// domain. It is updated from one decision to the next, so that the cost of a
+// change depends only on the size of the pools that it touches.
+type counts struct {
+	// required is the number of instances that each pool should have. instances
+	// is the number that it has, without lost instances and with those that are
+	// moving to it.
+	required  map[Pool]int
+	instances map[Pool]int
+	// lost is the number of lost instances of each pool.
+	lost map[Pool]int
+	// byDomain counts the instances of a pool by kind and name of failure
+	// domain.
+	byDomain map[poolDomain]map[string]int
+	// groupOf is the spare pool of each pool. A spare pool is in its own group,
+	// a pool without a contract in none.
+	groupOf map[Pool]Pool
+	groups  map[Pool]*group
+	// groupCounts counts the instances of each group by failure domain.
+	groupCounts map[groupDomain]int
+	// movable holds the instances that may be moved, by pool and rack, sorted
+	// by ID; an empty rack has no entry.
+	movable map[rackKey][]model.Instance
+	// rackOrder lists the keys of movable for each pool, in ascending order.
+	rackOrder map[Pool][]rackKey
+	// spares contains the spare pools.
+	spares map[Pool]bool
+	// loading is set while a whole fleet is counted. The exposure is computed
+	// once at the end, because updating it for one instance costs as much as
+	// the instance's pool is large.
+	loading bool
+}
+
+// group is the set of pools that share a spare pool.
+type group struct {
+	spare Pool
+	// covers is the largest failure domain that contracts cover for each pool.
+	covers map[Pool]model.FailureDomain
+	pools  []Pool
+	// exposure tracks, by kind of failure domain, how many instances the loss
+	// of each domain takes away.
+	exposure [3]maxTracker
+}
+
+// poolDomain is a pool and a kind of failure domain.
+type poolDomain struct {
+	pool Pool
+	kind model.FailureDomain
+}
+
+// groupDomain is a failure domain within a group; pool is the group's spare
+// pool.
+type groupDomain struct {
+	pool Pool
+	kind model.FailureDomain
+	name string
+}
+
+// rackKey identifies the instances of a pool in one rack.
+type rackKey struct {
+	pool Pool
+	zone model.Zone
+	rack model.Rack
+}
+
+func (r rackKey) compare(other rackKey) int {
+	return cmp.Or(cmp.Compare(r.pool, other.pool), cmp.Compare(r.zone, other.zone), cmp.Compare(r.rack, other.rack))
+}
+
+// domainKinds are the kinds of failure domain that contain more than one
+// instance.
+var domainKinds = [...]model.FailureDomain{model.DomainRack, model.DomainZone}
+
+// domainName returns the name of the instance's failure domain of a kind.
+func domainName(i model.Instance, kind model.FailureDomain) string {
+	if kind == model.DomainZone {
+		return string(i.Zone)
+	}
+	return string(i.Rack)
+}
+
+// newCounts returns the counts of a fleet without instances.
+func newCounts(contracts []model.Contract) *counts {
+	c := &counts{
+		required: map[Pool]int{}, instances: map[Pool]int{}, lost: map[Pool]int{}, byDomain: map[poolDomain]map[string]int{},
+		groupCounts: map[groupDomain]int{}, groupOf: map[Pool]Pool{}, groups: map[Pool]*group{},
+		movable: map[rackKey][]model.Instance{}, rackOrder: map[Pool][]rackKey{}, spares: map[Pool]bool{},
+	}
+	c.addContracts(contracts)
+	return c
+}
+
+// hasPool reports whether a contract promises instances of a pool.
+func hasPool(c model.Contract, p Pool) bool {
+	return slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
+}
+
+// addContracts sets the required instances and the groups. A pool of several
+// customers belongs to the group of the first of them that has a spare pool.
+func (c *counts) addContracts(contracts []model.Contract) {
+	sorted := slices.Clone(contracts)
+	slices.SortFunc(sorted, func(a, b model.Contract) int { return cmp.Compare(a.Customer, b.Customer) })
+	covers := map[Pool]model.FailureDomain{}
+	for _, contract := range sorted {
+		if contract.SparePool != "" {
+			c.spares[contract.SparePool] = true
+			c.required[contract.SparePool] += contract.Spare
+			c.groupOf[contract.SparePool] = contract.SparePool
+		}
+		if c.groups[contract.SparePool] == nil {
+			c.groups[contract.SparePool] = &group{spare: contract.SparePool, covers: map[Pool]model.FailureDomain{}}
+		}
+		for _, p := range contract.Pools {
+			c.required[p.Pool] += p.Instances
+			if current, ok := c.groupOf[p.Pool]; !ok || current == "" {
+				c.groupOf[p.Pool] = contract.SparePool
+			}
+			covers[p.Pool] = max(covers[p.Pool], contract.Covers)
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(covers)) {
+		g := c.groups[c.groupOf[p]]
+		g.covers[p] = covers[p]
+		g.pools = append(g.pools, p)
+	}
+}
+
+// update adds an instance to the counts (n is 1) or removes it (n is -1).
+func (c *counts) update(i model.Instance, lost bool, n int) {
+	switch {
+	case i.Phase == model.PhaseRetired:
+		return
+	case lost:
+		c.lost[i.Pool] += n
+		return
+	}
+	pool := i.Pool
+	if i.Phase == model.PhaseReleasing {
+		pool = i.Target
+	}
+	c.addInstances(pool, i, n)
+	if i.Phase != model.PhaseServing {
+		return
+	}
+	if key := (rackKey{pool, i.Zone, i.Rack}); n > 0 {
+		c.addMovable(key, i)
+	} else {
+		c.removeMovable(key, i)
+	}
+}
+
+// byID orders instances by ID.
+func byID(a, b model.Instance) int { return cmp.Compare(a.ID, b.ID) }
+
+// addMovable adds an instance to those that may be moved.
+func (c *counts) addMovable(key rackKey, i model.Instance) {
+	list := c.movable[key]
+	if len(list) == 0 {
+		at, _ := slices.BinarySearchFunc(c.rackOrder[key.pool], key, rackKey.compare)
+		c.rackOrder[key.pool] = slices.Insert(c.rackOrder[key.pool], at, key)
+	}
+	at, _ := slices.BinarySearchFunc(list, i, byID)
+	c.movable[key] = slices.Insert(list, at, i)
+}
+
+// removeMovable removes an instance from those that may be moved.
+func (c *counts) removeMovable(key rackKey, i model.Instance) {
+	list := c.movable[key]
+	at, ok := slices.BinarySearchFunc(list, i, byID)
+	if !ok {
+		return
+	}
+	if len(list) > 1 {
+		c.movable[key] = slices.Delete(list, at, at+1)
+		return
+	}
+	delete(c.movable, key)
+	if at, ok := slices.BinarySearchFunc(c.rackOrder[key.pool], key, rackKey.compare); ok {
+		c.rackOrder[key.pool] = slices.Delete(c.rackOrder[key.pool], at, at+1)
+	}
+}
+
+// addInstances adds n instances in the failure domains of i to the pool.
+func (c *counts) addInstances(p Pool, i model.Instance, n int) {
+	name, ok := c.groupOf[p]
+	if !ok || c.loading {
+		c.addToDomains(p, i, n)
+		c.instances[p] += n
+	} else if g := c.groups[name]; p == g.spare || max(0, c.surplus(p)) == max(0, c.surplus(p)+n) {
+		// Losses in the domains of other instances depend only on the surplus.
+		for _, k := range domainKinds {
+			g.exposure[k].add(domainName(i, k), -c.loss(g, p, k, domainName(i, k)))
+		}
+		c.addToDomains(p, i, n)
+		c.instances[p] += n
+		for _, k := range domainKinds {
+			g.exposure[k].add(domainName(i, k), c.loss(g, p, k, domainName(i, k)))
+		}
+	} else {
+		c.addExposure(p, -1)
+		c.addToDomains(p, i, n)
+		c.instances[p] += n
+		c.addExposure(p, 1)
+	}
+	if ok {
+		for _, k := range domainKinds {
+			c.groupCounts[groupDomain{name, k, domainName(i, k)}] += n
+		}
+	}
+}
+
+// addRequired changes the number of instances that a pool should have by n.
+func (c *counts) addRequired(p Pool, n int) {
+	c.addExposure(p, -1)
+	c.required[p] += n
+	c.addExposure(p, 1)
+}
+
+// addToDomains changes only the counts by failure domain.
+func (c *counts) addToDomains(p Pool, i model.Instance, n int) {
+	for _, k := range domainKinds {
+		s := poolDomain{p, k}
+		if c.byDomain[s] == nil {
+			c.byDomain[s] = map[string]int{}
+		}
+		c.byDomain[s][domainName(i, k)] += n
+		if c.byDomain[s][domainName(i, k)] == 0 {
+			delete(c.byDomain[s], domainName(i, k))
+		}
+	}
+}
+
+// addExposure adds the pool's losses to the exposure of its group, or subtracts
+// them with sign -1.
+func (c *counts) addExposure(p Pool, sign int) {
+	name, ok := c.groupOf[p]
+	if !ok || c.loading {
+		return
+	}
+	g := c.groups[name]
+	for _, k := range domainKinds {
+		for d := range c.byDomain[poolDomain{p, k}] {
+			g.exposure[k].add(d, sign*c.loss(g, p, k, d))
+		}
+	}
+}
+
+// loss returns how many instances the loss of a failure domain takes from a
+// pool beyond the pool's surplus. All instances of a spare pool count because a
+// lost spare instance replaces nothing.
+func (c *counts) loss(g *group, p Pool, kind model.FailureDomain, name string) int {
+	n := c.byDomain[poolDomain{p, kind}][name]
+	switch {
+	case p == g.spare:
+		return n
+	case g.covers[p] < kind:
+		return 0
+	}
+	return max(0, n-max(0, c.surplus(p)))
+}
+
+// surplus returns how many instances a pool has beyond what it requires;
+// negative if it lacks instances.
+func (c *counts) surplus(p Pool) int { return c.instances[p] - c.required[p] }
+
+// missingAfterLoss returns how many promised instances of the group are missing
+// after the loss of a failure domain, once the remaining spare has replaced
+// what it can.
+func (c *counts) missingAfterLoss(g *group, kind model.FailureDomain, name string) int {
+	n := c.loss(g, g.spare, kind, name) - c.instances[g.spare]
+	if g.spare == "" {
+		n = 0
+	}
+	for _, p := range g.pools {
+		if p != g.spare {
+			n += c.loss(g, p, kind, name)
+		}
+	}
+	return max(0, n)
+}
+
+// worstLoss returns the failure domain whose loss leaves the most instances
+// missing, and their number.
+func (c *counts) worstLoss(g *group, kind model.FailureDomain) (n int, name string) {
+	top, name := g.exposure[kind].max()
+	if g.spare != "" {
+		top -= c.instances[g.spare]
+	}
+	return max(0, top), name
+}
+
+// candidate describes the first movable instance of a rack as a candidate for
+// the pool to.
+func (c *counts) candidate(rack rackKey, to Pool) Candidate {
+	g := c.groupOf[to]
+	return Candidate{
+		Instance: c.movable[rack][0], FromSpare: c.spares[rack.pool],
+		GroupZone: c.groupCounts[groupDomain{g, model.DomainZone, string(rack.zone)}],
+		GroupRack: c.groupCounts[groupDomain{g, model.DomainRack, string(rack.rack)}],
+		PoolZone:  c.byDomain[poolDomain{to, model.DomainZone}][string(rack.zone)],
+		PoolRack:  c.byDomain[poolDomain{to, model.DomainRack}][string(rack.rack)],
+	}
+}
--- a/core/state/plan/doc.go
+++ b/core/state/plan/doc.go
@@ -1,8 +1,8 @@
 // Package plan decides which instances belong to which pool. Assign fills and
 // spreads the pools that contracts promise, also after losses, with few moves.
-// Surge decides what to do about a pool whose demand exceeds what it holds:
-// let requests queue, lend spare instances, or move instances of another pool.
+// Surge decides what to do about a pool whose demand exceeds its capacity: let
+// requests queue, lend spare instances, or move instances of another pool.
 //
-// Both depend on the replicated state alone. What Surge grants is an input of
-// Assign, so that the one does not undo what the other did.
+// Both depend on the replicated state alone. The extras that Surge grants are
+// an input of Assign, so that neither undoes what the other did.
 package plan
--- /dev/null
+++ b/core/state/plan/index.go
@@ -0,0 +1,95 @@
+package plan
+
+import "camphorridge/core/state/model"
+
+// FleetIndex keeps the counts from which assignments are made. It is an index
+// of the state: a new FleetIndex filled from the same state leads to the same
+// decisions. It is not safe for concurrent use.
+type FleetIndex struct {
+	contracts []model.Contract
+	instances map[model.InstanceID]entry
+	counts    *counts
+}
+
+// entry is an instance as it was last counted.
+type entry struct {
+	inst model.Instance
+	lost bool
+}
+
+// NewFleetIndex returns an index without instances.
+func NewFleetIndex(contracts []model.Contract) *FleetIndex {
+	return &FleetIndex{contracts: contracts, instances: map[model.InstanceID]entry{}, counts: newCounts(contracts)}
+}
+
+// SetInstance sets the state of an instance. lost says that it has an unplanned
+// outage.
+func (x *FleetIndex) SetInstance(i model.Instance, lost bool) {
+	if old, ok := x.instances[i.ID]; ok {
+		x.counts.update(old.inst, old.lost, -1)
+	}
+	x.instances[i.ID] = entry{i, lost}
+	x.counts.update(i, lost, 1)
+}
+
+// SetContracts replaces all contracts and recomputes the counts.
+func (x *FleetIndex) SetContracts(contracts []model.Contract) {
+	x.contracts = contracts
+	x.counts = newCounts(contracts)
+	x.bulkLoad(func() {
+		for _, e := range x.instances {
+			x.counts.update(e.inst, e.lost, 1)
+		}
+	})
+}
+
+// bulkLoad calls f, which counts many instances, and computes the exposure once
+// afterwards.
+func (x *FleetIndex) bulkLoad(f func()) {
+	x.counts.loading = true
+	f()
+	x.counts.loading = false
+	for p := range x.counts.instances {
+		x.counts.addExposure(p, 1)
+	}
+}
+
+// Assign makes an assignment from a whole state, without an index.
+func Assign[P Policy](policy P, set Settings, in Input) Assignment {
+	index := NewFleetIndex(in.Contracts)
+	index.bulkLoad(func() {
+		for _, i := range in.Instances {
+			index.SetInstance(i, in.Lost[i.ID])
+		}
+	})
+	return Decide(policy, set, index, in.Extras)
+}
+
+// Decide returns the moves that fill every pool, most urgent first: promised
+// instances before the spare, and last the exchanges for a better spread.
+// Instances that are being released or maintained stay where they are. The
+// index is unchanged afterwards; the caller reports the moves through
+// SetInstance.
+func Decide[P Policy](policy P, set Settings, index *FleetIndex, extras []Extra) Assignment {
+	d := &draft[P]{policy: policy, set: set, contracts: index.contracts, counts: index.counts}
+	for _, e := range extras {
+		index.counts.addRequired(e.Pool, e.Count)
+		index.counts.addRequired(e.From, -e.Count)
+	}
+	for _, p := range d.shortPools(false) {
+		d.fill(p, "holds fewer instances than it needs")
+	}
+	for _, p := range d.shortPools(true) {
+		d.fill(p, "holds fewer spare instances than reserved")
+	}
+	if policy.Exchange() {
+		d.exchange()
+	}
+	d.addGaps()
+	d.undo()
+	for _, e := range extras {
+		index.counts.addRequired(e.Pool, -e.Count)
+		index.counts.addRequired(e.From, e.Count)
+	}
+	return d.out
+}
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -2,31 +2,31 @@
 
 import "camphorridge/core/state/model"
 
-// Settings are the choices of an operator that concern assignments.
+// Settings are the operator's choices for assignments.
 type Settings struct {
-	// BorrowReserve lets a customer's repair use spare instances that are reserved
-	// for other customers of the same spare pool.
+	// BorrowReserve lets a customer's repair use spare instances that are
+	// reserved for other customers of the same spare pool.
 	BorrowReserve bool
-	// MaxExchangeMoves bounds the moves of one decision that only lower the
-	// exposure to a loss. Each of them is a disruption of its own.
+	// MaxExchangeMoves is the most moves of one decision that only lower the
+	// exposure to a loss. Each of these moves is a disruption of its own.
 	MaxExchangeMoves int
 }
 
-// Extra asks for instances beyond what contracts promise, at the expense of
-// another pool.
+// Extra is a request for Count instances more than contracts promise to Pool,
+// at the expense of the pool From.
 type Extra struct {
 	Pool  Pool
 	From  Pool
 	Count int
 }
 
-// Pool is short for the name of a pool.
+// Pool is the name of a pool.
 type Pool = model.Pool
 
 // Input is the state that an assignment depends on.
 type Input struct {
 	Instances []model.Instance
-	// Lost holds the instances that are out of service without a plan.
+	// Lost holds the instances with an unplanned outage.
 	Lost      map[model.InstanceID]bool
 	Contracts []model.Contract
 	Extras    []Extra
@@ -40,36 +40,37 @@
 	Reason   string
 }
 
-// GapKind tells apart what an assignment could not reach.
+// GapKind is the kind of a Gap.
 type GapKind string
 
 // The kinds of gap.
 const (
-	// GapPromised: a pool holds fewer instances than promised.
+	// GapPromised: a pool has fewer instances than promised.
 	GapPromised GapKind = "promised"
-	// GapSpare: a spare pool holds fewer than reserved.
+	// GapSpare: a spare pool has fewer instances than reserved.
 	GapSpare GapKind = "spare"
 	// GapExposed: the loss of a covered failure domain would leave promised
 	// instances missing.
 	GapExposed GapKind = "exposed"
 )
 
-// Gap is what is missing once the moves are done.
+// Gap is a shortfall that remains once the moves are done.
 type Gap struct {
 	Kind GapKind
 	Pool Pool
-	// Subject names the failure domain of an exposure.
+	// Subject is the failure domain of a GapExposed; Need is then the number of
+	// instances that its loss would leave missing.
 	Subject string
 	Need    int
 	Have    int
 	Reason  string
 }
 
-// Assignment is the outcome of Assign.
+// Assignment is the result of Assign and Decide.
 type Assignment struct {
 	Moves []Move
 	Gaps  []Gap
-	// Idle is the number of instances beyond what pools promise, once the
-	// moves are done: the buffer that is paid for.
+	// Idle is the number of instances beyond what pools promise once the moves
+	// are done, that is, the paid buffer.
 	Idle int
 }
--- a/core/state/plan/policy.go
+++ b/core/state/plan/policy.go
@@ -9,44 +9,45 @@
 // Candidate is an instance that could fill a pool.
 type Candidate struct {
 	Instance model.Instance
-	// Spare is set when it would come from the spare.
-	Spare bool
-	// GroupZone and GroupRack count the instances of all pools with the same
-	// spare in the candidate's zone and rack; PoolZone and PoolRack those of
-	// the pool to be filled.
+	// FromSpare is set if the instance would come from the spare pool.
+	FromSpare bool
+	// GroupZone and GroupRack are the numbers of instances of all pools with
+	// the same spare pool in the candidate's zone and rack. PoolZone and
+	// PoolRack count only those of the pool to be filled.
 	GroupZone int
 	GroupRack int
 	PoolZone  int
 	PoolRack  int
 }
 
-// Policy says which instance fills a pool and whether instances are exchanged
-// only to lower the exposure to a loss.
+// Policy determines which instance fills a pool, and whether instances are
+// exchanged only to lower the exposure to a loss.
 type Policy interface {
-	// Compare is negative when a is preferred to b.
+	// Compare returns a negative number if a is preferred to b.
 	Compare(a, b Candidate) int
-	// Exchange reports whether exchanges are looked for.
+	// Exchange reports whether to search for exchanges.
 	Exchange() bool
 }
 
-// FirstName is the baseline: the first instance in the order of names,
+// FirstByName is the baseline: it takes the first instance in the order of IDs,
 // wherever it is.
-type FirstName struct{}
+type FirstByName struct{}
 
-// Compare prefers surplus to spare, then the smaller name.
-func (FirstName) Compare(a, b Candidate) int {
+// Compare prefers surplus to spare instances, then the smaller ID.
+func (FirstByName) Compare(a, b Candidate) int {
 	return cmp.Or(bySpare(a, b), byName(a, b))
 }
 
 // Exchange returns false.
-func (FirstName) Exchange() bool { return false }
+func (FirstByName) Exchange() bool { return false }
 
-// Spread fills from the zones and racks that hold least of the pools which
-// share a spare, so that a loss takes as little as possible at once. It never
-// moves an instance that no pool lacks.
+// Spread fills a pool from the zones and racks that contain the fewest
+// instances of the pools that share a spare pool, so that one loss affects as
+// few as possible. It moves an instance only to a pool that lacks one.
 type Spread struct{}
 
-// Compare prefers surplus to spare, then the emptier zone and rack.
+// Compare prefers surplus to spare instances, then the zone and rack with fewer
+// instances.
 func (Spread) Compare(a, b Candidate) int {
 	return cmp.Or(
 		bySpare(a, b),
@@ -61,21 +62,23 @@
 // Exchange returns false.
 func (Spread) Exchange() bool { return false }
 
-// Balance fills like Spread and exchanges instances between pools while that
-// lowers the exposure. It costs moves that Spread does not make.
+// Balance fills like Spread, and exchanges instances between pools while that
+// lowers the exposure. It needs moves that Spread does not make.
 type Balance struct{ Spread }
 
 // Exchange returns true.
 func (Balance) Exchange() bool { return true }
 
+// bySpare orders surplus instances before spare ones.
 func bySpare(a, b Candidate) int {
 	switch {
-	case a.Spare == b.Spare:
+	case a.FromSpare == b.FromSpare:
 		return 0
-	case b.Spare:
+	case b.FromSpare:
 		return -1
 	}
 	return 1
 }
 
+// byName orders by instance ID.
 func byName(a, b Candidate) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) }
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -59,11 +59,11 @@
 }
 
 func (r *surgeRun) holdings() (out []Holding) {
-	a := r.w.book.l
+	a := r.w.book.counts
 	for _, p := range r.w.contracts[0].Pools {
-		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Instances: a.have[p.Pool], Promised: p.Instances, SlotsPerInstance: 8})
+		out = append(out, Holding{Pool: p.Pool, Spare: "spare", Instances: a.instances[p.Pool], Promised: p.Instances, SlotsPerInstance: 8})
 	}
-	return append(out, Holding{Pool: "spare", Instances: a.have["spare"], Promised: r.w.contracts[0].Spare, SlotsPerInstance: 8})
+	return append(out, Holding{Pool: "spare", Instances: a.instances["spare"], Promised: r.w.contracts[0].Spare, SlotsPerInstance: 8})
 }
 
 // second lets one second pass: a decision, its moves, and the queues.
@@ -74,10 +74,10 @@
 	_, extras := Surge(c, w, r.holdings(), r.demand[:], r.now)
 	moves := Decide(Spread{}, Settings{}, r.w.book, extras).Moves
 	r.breaches += r.w.release(moves)
-	if r.w.book.l.have["spare"] < w.MinSpare {
+	if r.w.book.counts.instances["spare"] < w.MinSpare {
 		r.breaches++
 	}
-	r.lent += float64(max(0, r.w.contracts[0].Spare-r.w.book.l.have["spare"]))
+	r.lent += float64(max(0, r.w.contracts[0].Spare-r.w.book.counts.instances["spare"]))
 	r.now += clock.Second
 	if r.now%w.MoveMillis == 0 {
 		r.breaches += r.w.finish()
@@ -89,7 +89,7 @@
 				r.serving[k]++
 			}
 		}
-		if r.w.book.l.have[p.Pool] < p.Instances && !w.Donate {
+		if r.w.book.counts.instances[p.Pool] < p.Instances && !w.Donate {
 			r.breaches++
 		}
 		d := &r.demand[k]
--- a/core/state/plan/weights.go
+++ b/core/state/plan/weights.go
@@ -2,8 +2,8 @@
 
 import "camphorridge/core/state/clock"
 
-// RolloutFirst are the weights of an operator whose work must not wait: a
-// waiting second costs as much as five seconds of a spare instance.
+// RolloutFirst returns the weights of an operator whose work must not wait: one
+// second of waiting costs as much as five seconds of a spare instance.
 func RolloutFirst() Weights {
 	return Weights{
 		WaitCost: 1, RefuseCost: 20, BufferCost: 0.2, MoveCost: 5, MoveMillis: 3 * clock.Second, PeakMillis: 12 * clock.Second,
@@ -11,8 +11,8 @@
 	}
 }
 
-// BufferFirst are the weights of an operator whose instances are large: an
-// instance is lent only to a long queue.
+// BufferFirst returns the weights of an operator with large instances: an
+// instance is lent only for a long queue.
 func BufferFirst() Weights {
 	w := RolloutFirst()
 	w.WaitCost, w.RefuseCost, w.BufferCost, w.MoveCost = 0.05, 2, 5, 25
