Word the source of core/state/lend in terms of loans and responses

Checks: go vet of the package, core/coord/entry, core/coord/lender and core/state/route; RAPID_SEED=1 go test -short ./core/state/lend/.

--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -9,20 +9,23 @@
 )
 
 const (
-	// marginPart is the part of a lease before whose end no request starts
-	// any more: clocks differ in rate, and handling takes time.
-	marginPart = 10
-	// retryAfter is the wait after a message that was not answered.
+	// leaseMarginDivisor sets the margin at the end of a lease in which no
+	// request starts, 1/leaseMarginDivisor of the lease: clocks differ in rate,
+	// and handling takes time.
+	leaseMarginDivisor = 10
+	// retryAfter is the delay before a message without a response is sent
+	// again.
 	retryAfter clock.Millis = 500
-	// refusedFor is the time for which a lender that gave nothing is not asked
-	// again for the pool, and faultyFor for one whose upstream did not answer.
-	refusedFor = clock.Second
-	faultyFor  = 5 * clock.Second
-	// failMost is the number of failures in a row that end a loan.
-	failMost = 3
+	// refusedBackoff is how long a lender that granted nothing is not asked
+	// again for the pool. faultyBackoff is how long a lender is not asked at
+	// all after its upstream did not respond.
+	refusedBackoff = clock.Second
+	faultyBackoff  = 5 * clock.Second
+	// maxFailures is the number of consecutive failures that end a loan.
+	maxFailures = 3
 )
 
-// HeldLoan is a loan that this process uses.
+// HeldLoan is a loan that this process may use.
 type HeldLoan struct {
 	Loan
 	Lender model.Process
@@ -30,94 +33,97 @@
 	UsableUntil clock.Millis
 	// Running is the number of requests in flight; at most Slots.
 	Running int
-	// ended says that no request starts any more; it never goes back.
+	// ended is set, for good, once no more requests may start on the loan.
 	ended bool
-	// lenderRun is the incarnation of the lender that gave it.
-	lenderRun uint64
-	// used is the last time with a request in flight.
-	used clock.Millis
-	// asked says that a renewal is under way.
-	asked bool
-	// failures counts those in a row.
+	// lenderIncarnation is the incarnation of the lender that granted the loan.
+	lenderIncarnation uint64
+	// lastUsed is the last time at which a request was in flight.
+	lastUsed clock.Millis
+	// renewing is set while a renewal awaits its response.
+	renewing bool
+	// failures counts consecutive failures.
 	failures int
-	// next is the time of the next try of a return, and forget that from which
-	// the lender needs none.
-	next, forget clock.Millis
+	// nextReturn is the earliest time of the next return. From forgetAt on
+	// the lender needs no return because the loan has expired there.
+	nextReturn, forgetAt clock.Millis
 }
 
-// ConnectionName names the connections of the loan. They are apart from those of the
-// own share and of other loans, so that they can be closed with the loan.
+// ConnectionName returns the name of the loan's connections. They are separate
+// from those of the own share and of other loans, so that they can be closed
+// with the loan.
 func (h *HeldLoan) ConnectionName() string {
 	return string(h.Instance) + "#" + strconv.FormatUint(uint64(h.ID), 16)
 }
 
-// purse is what a process borrows in one pool.
-type purse struct {
+// poolLoans is what a process borrows in one pool.
+type poolLoans struct {
 	loans []*HeldLoan
-	// pending is the number of slots asked for and not answered.
-	pending int
-	// since is the begin of the pressure; 0 without.
-	since clock.Millis
-	// refused holds the time until which a lender is not asked again.
-	refused map[model.Process]clock.Millis
-	// until is the time until which a search without result stands.
-	until clock.Millis
+	// pendingSlots is the number of requested slots without a response.
+	pendingSlots int
+	// pressureSince is the start of the pressure; 0 means there is none.
+	pressureSince clock.Millis
+	// refusedUntil holds the time until which a lender is not asked again.
+	refusedUntil map[model.Process]clock.Millis
+	// failedSearchUntil is the time until which no loan is expected because
+	// every lender refused or failed.
+	failedSearchUntil clock.Millis
 }
 
-// lender is another process as a lender.
+// lender is the state of another process as a lender.
 type lender struct {
 	member model.Member
-	// incarnation is that of its last recall; 0 before. Answers of another run
-	// are void.
+	// incarnation comes from the process's last recall; 0 before. Responses of
+	// other incarnations are ignored.
 	incarnation uint64
-	// busy says that an order is under way.
+	// busy is set while a message awaits its result.
 	busy bool
-	// faulty is the time until which it is not asked.
-	faulty clock.Millis
-	// again is the earliest time of the next order.
-	again clock.Millis
+	// faultyUntil is the time until which no loans are requested from the
+	// process.
+	faultyUntil clock.Millis
+	// nextMessage is the earliest time of the next message.
+	nextMessage clock.Millis
 }
 
-// Acquire reserves a slot of a held loan; ok is false when none has room. A loan
-// of the instance to avoid is not taken.
+// Acquire reserves a slot of a held loan; ok is false if no loan has a free
+// slot. Loans of the instance avoid are skipped.
 func (l *Ledger[P]) Acquire(now clock.Millis, p model.Pool, avoid model.InstanceID) (h *HeldLoan, ok bool) {
 	s := l.pools[p]
 	if s == nil {
 		return nil, false
 	}
-	// The first with room is filled up, so that loans that are not needed
-	// become idle.
+	// The first loan with a free slot is used, so that loans that are not
+	// needed become idle.
 	for _, h := range s.loans {
 		if h.ended || h.Running >= h.Slots || now >= h.UsableUntil || h.Instance == avoid {
 			continue
 		}
 		h.Running++
-		h.used = now
+		h.lastUsed = now
 		l.Counts.Used++
 		return h, true
 	}
 	return nil, false
 }
 
-// Release gives a slot back. failed says that the upstream failed, and unreached
+// Release frees a slot. failed says that the upstream failed, and unreached
 // that no connection could be opened.
 func (l *Ledger[P]) Release(now clock.Millis, h *HeldLoan, failed, unreached bool) {
 	h.Running--
-	h.used = now
+	h.lastUsed = now
 	if !failed && !unreached {
 		h.failures = 0
 		return
 	}
 	h.failures++
-	if unreached || h.failures >= failMost {
+	if unreached || h.failures >= maxFailures {
 		h.ended = true
 		if to := l.lenders[h.Lender]; to != nil {
-			to.faulty = now + faultyFor
+			to.faultyUntil = now + faultyBackoff
 		}
 	}
 }
 
-// BorrowedSlots returns the slots of the loans held in a pool.
+// BorrowedSlots returns the number of usable slots of the loans held in a pool.
 func (l *Ledger[P]) BorrowedSlots(now clock.Millis, p model.Pool) int {
 	n := 0
 	if s := l.pools[p]; s != nil {
@@ -130,31 +136,32 @@
 	return n
 }
 
-// EachHeld calls f for every loan held.
+// EachHeld calls f for every held loan.
 func (l *Ledger[P]) EachHeld(f func(*HeldLoan)) {
 	for _, h := range l.held {
 		f(h)
 	}
 }
 
-// EachPool calls f for each pool in which this process has borrowed.
+// EachPool calls f for each pool in which this process has requested loans.
 func (l *Ledger[P]) EachPool(f func(model.Pool)) {
 	for p := range l.pools {
 		f(p)
 	}
 }
 
-// MayBorrow reports whether a process without own slots of the pool may get some:
-// it holds loans, or a search has not yet ended without one.
+// MayBorrow reports whether a process without own slots of the pool may get
+// some: it holds usable loans, or not all lenders have recently refused or
+// failed.
 func (l *Ledger[P]) MayBorrow(now clock.Millis, p model.Pool) bool {
 	if !l.Enabled() {
 		return false
 	}
 	s := l.pools[p]
-	return s == nil || s.pending > 0 || now >= s.until || l.BorrowedSlots(now, p) > 0
+	return s == nil || s.pendingSlots > 0 || now >= s.failedSearchUntil || l.BorrowedSlots(now, p) > 0
 }
 
-// EndLoansOf ends the loans of an instance that left the pool.
+// EndLoansOf ends the held loans of an instance that left the pool.
 func (l *Ledger[P]) EndLoansOf(i model.Instance) {
 	for _, h := range l.held {
 		if h.Instance == i.ID && (i.Phase != model.PhaseServing || i.Pool != h.Pool) {
@@ -163,115 +170,118 @@
 	}
 }
 
-// HandleRecall ends the loans of an earlier run of a lender, and reports whether
-// all of them are over, their connections included.
+// HandleRecall ends the loans of earlier runs of a lender. It reports whether
+// none of them are left, including their connections.
 func (l *Ledger[P]) HandleRecall(r Recall) (clear bool) {
 	if from := l.lenders[r.Lender]; from != nil {
 		from.incarnation = r.Incarnation
 	}
 	clear = true
 	for _, h := range l.held {
-		if h.Lender == r.Lender && h.lenderRun != r.Incarnation && h.Slots > 0 {
+		if h.Lender == r.Lender && h.lenderIncarnation != r.Incarnation && h.Slots > 0 {
 			h.ended, clear = true, false
 		}
 	}
 	return clear
 }
 
-// HandleResponse takes in the answer to an ask that was sent at asked. Without an
-// answer, ok is false: the lender may have granted loans, which are then
-// returned unused.
-func (l *Ledger[P]) HandleResponse(now clock.Millis, o Message, asked clock.Millis, a LoanResponse, ok bool) {
-	to, s := l.lenders[o.To], l.purse(o.Request.Pool)
-	to.busy = false
+// HandleResponse processes the response to the loan request m that was sent at
+// sentAt. ok is false if there was no response: the lender may have granted
+// loans, which are then returned unused.
+func (l *Ledger[P]) HandleResponse(now clock.Millis, m Message, sentAt clock.Millis, resp LoanResponse, ok bool) {
+	from, loans := l.lenders[m.To], l.loansOf(m.Request.Pool)
+	from.busy = false
 	if !ok {
-		to.again = now + retryAfter/2
+		from.nextMessage = now + retryAfter/2
 	}
-	// The answer of a run before the last recall is void as well.
-	void := !ok || to.incarnation != 0 && to.incarnation != a.Incarnation
-	end := asked + a.Lease - a.Lease/marginPart
-	for _, id := range o.Request.Renew {
-		l.renewed(now, id, end, a, ok, void)
+	// A response from a run before the last recall is ignored as well.
+	ignored := !ok || from.incarnation != 0 && from.incarnation != resp.Incarnation
+	end := sentAt + resp.Lease - resp.Lease/leaseMarginDivisor
+	for _, id := range m.Request.Renew {
+		l.renewed(now, id, end, resp, ok, ignored)
 	}
-	if o.Request.Slots == 0 {
+	if m.Request.Slots == 0 {
 		return
 	}
-	s.pending -= o.Request.Slots
-	if void {
-		to.faulty = now + refusedFor
-		// It stands for the loans that may have been granted.
+	loans.pendingSlots -= m.Request.Slots
+	if ignored {
+		from.faultyUntil = now + refusedBackoff
+		// Stands for the loans that may have been granted.
 		l.hold(&HeldLoan{
-			Loan: Loan{ID: askID(o.Request.Number), Pool: o.Request.Pool}, Lender: o.To, ended: true,
-			forget: now + l.cfg.Lease + l.cfg.MaxRequestTime,
+			Loan: Loan{ID: requestLoanID(m.Request.Number), Pool: m.Request.Pool}, Lender: m.To, ended: true,
+			forgetAt: now + l.cfg.Lease + l.cfg.MaxRequestTime,
 		})
 	}
-	if void || len(a.Loans) == 0 {
+	if ignored || len(resp.Loans) == 0 {
 		l.Counts.Refused++
-		s.refused[o.To] = now + refusedFor
+		loans.refusedUntil[m.To] = now + refusedBackoff
 		return
 	}
-	for _, loan := range a.Loans {
+	for _, loan := range resp.Loans {
 		l.Counts.Received++
 		l.hold(&HeldLoan{
-			Loan: loan, Lender: o.To, UsableUntil: end, used: now, lenderRun: a.Incarnation,
-			forget: now + a.Lease + l.cfg.MaxRequestTime,
+			Loan: loan, Lender: m.To, UsableUntil: end, lastUsed: now, lenderIncarnation: resp.Incarnation,
+			forgetAt: now + resp.Lease + l.cfg.MaxRequestTime,
 		})
 	}
 }
 
-// renewed takes in what became of one renewal. An unanswered one changes
-// nothing: the loan holds until the end that is known.
-func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, a LoanResponse, ok, void bool) {
+// renewed processes the result of one renewal. Without a response nothing
+// changes: the loan is valid until the known end.
+func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, resp LoanResponse, ok, ignored bool) {
 	h := l.held[id]
 	if h == nil {
 		return
 	}
-	h.asked = false
+	h.renewing = false
 	switch {
 	case !ok:
-	case void || !slices.Contains(a.Renewed, id):
+	case ignored || !slices.Contains(resp.Renewed, id):
 		h.ended = true
 	default:
 		h.UsableUntil = max(h.UsableUntil, end)
-		h.forget = max(h.forget, now+a.Lease+l.cfg.MaxRequestTime)
+		h.forgetAt = max(h.forgetAt, now+resp.Lease+l.cfg.MaxRequestTime)
 	}
 }
 
+// hold adds a loan to the held ones.
 func (l *Ledger[P]) hold(h *HeldLoan) {
 	l.held[h.ID] = h
 	if h.Slots == 0 {
 		return
 	}
-	s := l.purse(h.Pool)
+	s := l.loansOf(h.Pool)
 	s.loans = append(s.loans, h)
 	l.Counts.HeldSlots += int64(h.Slots)
 }
 
-// drop forgets a loan that was returned, or that the lender has given up.
-func (l *Ledger[P]) drop(h *HeldLoan) {
+// forget removes a loan that was returned or that has expired at its lender.
+func (l *Ledger[P]) forget(h *HeldLoan) {
 	delete(l.held, h.ID)
-	s := l.purse(h.Pool)
+	s := l.loansOf(h.Pool)
 	if i := slices.Index(s.loans, h); i >= 0 {
 		s.loans = slices.Delete(s.loans, i, i+1)
 		l.Counts.HeldSlots -= int64(h.Slots)
 	}
 }
 
-// HandleReturnResult notes that the lender has taken loans back; ok is false without an
-// answer.
-func (l *Ledger[P]) HandleReturnResult(o Message, ok bool) {
-	l.lenders[o.To].busy = false
-	for _, id := range o.Return.IDs {
+// HandleReturnResult records that the lender has processed a return; ok is
+// false if there was no response.
+func (l *Ledger[P]) HandleReturnResult(m Message, ok bool) {
+	l.lenders[m.To].busy = false
+	for _, id := range m.Return.IDs {
 		if h := l.held[id]; h != nil && ok {
-			l.drop(h)
+			l.forget(h)
 		}
 	}
 }
 
-func (l *Ledger[P]) purse(p model.Pool) *purse {
+// loansOf returns the loans in a pool and creates an empty entry if there is
+// none.
+func (l *Ledger[P]) loansOf(p model.Pool) *poolLoans {
 	s := l.pools[p]
 	if s == nil {
-		s = &purse{refused: map[model.Process]clock.Millis{}}
+		s = &poolLoans{refusedUntil: map[model.Process]clock.Millis{}}
 		l.pools[p] = s
 	}
 	return s
--- a/core/state/lend/fair.go
+++ b/core/state/lend/fair.go
@@ -5,47 +5,49 @@
 	"camphorridge/core/state/model"
 )
 
-// starvedFor is the time, in leases, for which a borrower that got nothing is
-// counted on: long enough for others not to be renewed and for it to ask again.
-const starvedFor = 2
+// starvedLeases is the number of leases for which a borrower that got nothing
+// keeps its claim to a share: long enough for other loans not to be renewed and
+// for the borrower to ask again.
+const starvedLeases = 2
 
-// parts divides what is lent in one pool between its borrowers, so that those
-// that asked first do not keep all of it.
-type parts struct {
-	// fair is the slots that one borrower may hold; at least 1.
-	fair int
+// fairShare divides the lendable slots of a pool between its borrowers, so that
+// those that asked first do not keep all of them.
+type fairShare struct {
+	// slots is the number of slots that one borrower may hold; at least 1.
+	slots int
+	// held counts the slots of each borrower.
 	held map[model.Process]int
-	// short says that another borrower got nothing lately.
-	short bool
+	// contended says that another borrower got nothing recently.
+	contended bool
 }
 
-// divide counts the loans of a pool for an ask of a borrower.
-func (l *Ledger[P]) divide(now clock.Millis, a LoanRequest, stocks []UpstreamSlots) parts {
-	p := parts{held: map[model.Process]int{a.Borrower: 0}}
-	for k, g := range l.given {
-		if g.loan.Pool == a.Pool {
-			p.held[k.borrower] += g.loan.Slots
+// fairShare computes the fair share of a pool for the borrower of a request.
+func (l *Ledger[P]) fairShare(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots) fairShare {
+	share := fairShare{held: map[model.Process]int{req.Borrower: 0}}
+	for key, granted := range l.lentLoans {
+		if granted.loan.Pool == req.Pool {
+			share.held[key.borrower] += granted.loan.Slots
 		}
 	}
-	for s, since := range l.starved {
+	for starved, since := range l.starved {
 		switch {
-		case now-since > starvedFor*l.cfg.Lease:
-			delete(l.starved, s)
-		case s.pool == a.Pool && s.borrower != a.Borrower:
-			p.held[s.borrower] += 0
-			p.short = true
+		case now-since > starvedLeases*l.cfg.Lease:
+			delete(l.starved, starved)
+		case starved.pool == req.Pool && starved.borrower != req.Borrower:
+			share.held[starved.borrower] += 0
+			share.contended = true
 		}
 	}
 	total := 0
-	for i := range stocks {
-		total += stocks[i].Lendable
+	for i := range upstreams {
+		total += upstreams[i].Lendable
 	}
-	p.fair = max(total/len(p.held), 1)
-	return p
+	share.slots = max(total/len(share.held), 1)
+	return share
 }
 
-// starving names a borrower that got nothing in a pool.
-type starving struct {
+// starvedKey identifies a borrower that got nothing in a pool.
+type starvedKey struct {
 	borrower model.Process
 	pool     model.Pool
 }
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -5,43 +5,46 @@
 	"camphorridge/core/state/model"
 )
 
-// key names a loan given.
-type key struct {
+// loanKey identifies a granted loan.
+type loanKey struct {
 	borrower    model.Process
 	incarnation uint64
 	id          ID
 }
 
-// given is a loan of own slots.
-type given struct {
+// lentLoan is a loan that this process has granted.
+type lentLoan struct {
 	loan Loan
-	// until is the time after which nobody uses the loan any more; it never
-	// moves back.
-	until clock.Millis
+	// end is the time after which the borrower certainly no longer uses the
+	// loan; it never moves back.
+	end clock.Millis
 }
 
-// Ledger is the record of one process's loans. It is not safe for use by
-// several goroutines.
+// Ledger records the loans that one process has granted and holds. It is not
+// safe for concurrent use.
 type Ledger[P Policy] struct {
 	cfg    Settings
 	policy P
 	Counts Counts
 
-	given map[key]given
-	lent  map[model.InstanceID]int
-	// starved holds the time at which a borrower without loans got none.
-	starved map[starving]clock.Millis
-	// changed lists the instances whose lent slots changed; see Changed.
+	lentLoans map[loanKey]lentLoan
+	lentSlots map[model.InstanceID]int
+	// starved holds the time of the last request that granted nothing to a
+	// borrower without loans.
+	starved map[starvedKey]clock.Millis
+	// changed lists the instances whose number of lent slots changed; see
+	// TakeChanges.
 	changed []model.InstanceID
-	// unheard lists the processes that may hold loans of the run before this
-	// one; quarantine is the end of all such loans.
-	unheard    map[model.Process]clock.Millis
-	quarantine clock.Millis
-
-	held   map[ID]*HeldLoan
-	pools  map[model.Pool]*purse
-	number uint64
-	// lenders is the state of other processes as lenders.
+	// unacknowledged lists the processes that may hold loans of earlier runs of
+	// this process, with the time of the next recall to each. All such loans
+	// have ended at quarantineEnd.
+	unacknowledged map[model.Process]clock.Millis
+	quarantineEnd  clock.Millis
+
+	held       map[ID]*HeldLoan
+	pools      map[model.Pool]*poolLoans
+	lastNumber uint64
+	// lenders holds the state of the other processes as lenders.
 	lenders map[model.Process]*lender
 }
 
@@ -49,10 +52,10 @@
 func New[P Policy](cfg Settings, policy P, now clock.Millis) *Ledger[P] {
 	l := &Ledger[P]{
 		cfg: cfg, policy: policy,
-		given: map[key]given{}, lent: map[model.InstanceID]int{},
-		starved: map[starving]clock.Millis{},
-		unheard: map[model.Process]clock.Millis{},
-		held:    map[ID]*HeldLoan{}, pools: map[model.Pool]*purse{},
+		lentLoans: map[loanKey]lentLoan{}, lentSlots: map[model.InstanceID]int{},
+		starved:        map[starvedKey]clock.Millis{},
+		unacknowledged: map[model.Process]clock.Millis{},
+		held:           map[ID]*HeldLoan{}, pools: map[model.Pool]*poolLoans{},
 		lenders: map[model.Process]*lender{},
 	}
 	for _, m := range cfg.Entries {
@@ -61,148 +64,153 @@
 		}
 		l.lenders[m.Name] = &lender{member: m}
 		if cfg.Lease > 0 {
-			l.unheard[m.Name] = 0
+			l.unacknowledged[m.Name] = 0
 		}
 	}
-	l.quarantine = now + cfg.Lease + cfg.MaxRequestTime
+	l.quarantineEnd = now + cfg.Lease + cfg.MaxRequestTime
 	return l
 }
 
 // Enabled reports whether lending is turned on.
 func (l *Ledger[P]) Enabled() bool { return l.cfg.Lease > 0 }
 
-// Quarantined reports whether loans of an earlier run of this process may be
-// in use: its lendable slots must then stay unused, and it must confirm no
-// release.
+// Quarantined reports whether loans of an earlier run of this process may be in
+// use. Until that is over, its lendable slots must stay unused and it must not
+// confirm any release.
 func (l *Ledger[P]) Quarantined(now clock.Millis) bool {
-	if len(l.unheard) > 0 && now >= l.quarantine {
-		clear(l.unheard)
+	if len(l.unacknowledged) > 0 && now >= l.quarantineEnd {
+		clear(l.unacknowledged)
 	}
-	return len(l.unheard) > 0
+	return len(l.unacknowledged) > 0
 }
 
-// HandleRecallAck notes that a process holds no loan of an earlier run.
-func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.unheard, from) }
+// HandleRecallAck records that a process holds no loan of an earlier run.
+func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.unacknowledged, from) }
 
-// Lent returns the slots of an own upstream that are lent.
-func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lent[id] }
+// Lent returns how many slots of an own upstream are lent.
+func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lentSlots[id] }
 
-// TakeChanges calls f for each instance whose lent slots changed since the last
-// call.
+// TakeChanges calls f for each instance whose number of lent slots changed
+// since the last call.
 func (l *Ledger[P]) TakeChanges(f func(id model.InstanceID, lent int)) {
 	for _, id := range l.changed {
-		f(id, l.lent[id])
+		f(id, l.lentSlots[id])
 	}
 	l.changed = l.changed[:0]
 }
 
-// Grant answers an ask. stocks lists the upstreams of the pool that may be lent,
-// each once; find returns one upstream, false when it is not routable.
-func (l *Ledger[P]) Grant(now clock.Millis, a LoanRequest, stocks []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
+// Grant answers a loan request. upstreams lists the upstreams of the pool that
+// may be lent, each once. find returns one upstream, or false if it is not
+// routable.
+func (l *Ledger[P]) Grant(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
 	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
 	if !l.Enabled() || l.Quarantined(now) {
 		return out
 	}
-	until := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, a.MaxRequestTime)
-	p := l.divide(now, a, stocks)
-	for _, id := range a.Renew {
-		k := key{a.Borrower, a.Incarnation, id}
-		if g := l.given[k]; p.short && g.loan.Pool == a.Pool && p.held[a.Borrower] > p.fair {
-			p.held[a.Borrower] -= g.loan.Slots
+	end := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, req.MaxRequestTime)
+	share := l.fairShare(now, req, upstreams)
+	for _, id := range req.Renew {
+		key := loanKey{req.Borrower, req.Incarnation, id}
+		if granted := l.lentLoans[key]; share.contended && granted.loan.Pool == req.Pool && share.held[req.Borrower] > share.slots {
+			share.held[req.Borrower] -= granted.loan.Slots
 			continue
 		}
-		if l.renew(k, until, find) {
+		if l.renew(key, end, find) {
 			out.Renewed = append(out.Renewed, id)
 		}
 	}
-	want := min(a.Slots, maxSlots, p.fair-p.held[a.Borrower])
-	for i := range stocks {
-		if want <= 0 || len(out.Loans) >= maxParts || len(l.given) >= maxLoans {
+	wanted := min(req.Slots, maxSlotsPerRequest, share.slots-share.held[req.Borrower])
+	for i := range upstreams {
+		if wanted <= 0 || len(out.Loans) >= maxLoansPerResponse || len(l.lentLoans) >= maxLoans {
 			break
 		}
-		loan, ok := l.give(a, stocks[i], want, len(out.Loans)+1, until)
+		loan, ok := l.lend(req, upstreams[i], wanted, len(out.Loans)+1, end)
 		if !ok {
 			continue
 		}
-		want -= loan.Slots
+		wanted -= loan.Slots
 		out.Loans = append(out.Loans, loan)
 	}
-	if s := (starving{a.Borrower, a.Pool}); a.Slots > 0 && p.held[a.Borrower] == 0 {
-		delete(l.starved, s)
+	if starved := (starvedKey{req.Borrower, req.Pool}); req.Slots > 0 && share.held[req.Borrower] == 0 {
+		delete(l.starved, starved)
 		if len(out.Loans) == 0 && len(l.starved) < maxLoans {
-			l.starved[s] = now
+			l.starved[starved] = now
 		}
 	}
 	return out
 }
 
-// renew moves the end of a loan on, unless its upstream is no longer the one
-// that was lent or own requests need the slots.
-func (l *Ledger[P]) renew(k key, until clock.Millis, find func(model.InstanceID) (UpstreamSlots, bool)) bool {
-	g, ok := l.given[k]
+// renew extends the lease of a loan, unless its upstream has changed since it
+// was lent or own requests need the slots.
+func (l *Ledger[P]) renew(key loanKey, end clock.Millis, find func(model.InstanceID) (UpstreamSlots, bool)) bool {
+	granted, ok := l.lentLoans[key]
 	if !ok {
 		return false
 	}
-	s, ok := find(g.loan.Instance)
-	if !ok || s.Pool != g.loan.Pool || s.Incarnation != g.loan.Incarnation ||
-		s.Waiting > 0 || l.lent[g.loan.Instance] > s.Lendable {
+	upstream, ok := find(granted.loan.Instance)
+	if !ok || upstream.Pool != granted.loan.Pool || upstream.Incarnation != granted.loan.Incarnation ||
+		upstream.Waiting > 0 || l.lentSlots[granted.loan.Instance] > upstream.Lendable {
 		return false
 	}
-	g.until = max(g.until, until)
-	l.given[k] = g
+	granted.end = max(granted.end, end)
+	l.lentLoans[key] = granted
 	return true
 }
 
-func (l *Ledger[P]) give(a LoanRequest, s UpstreamSlots, want, part int, until clock.Millis) (Loan, bool) {
-	s.Lent = l.lent[s.Instance]
-	n := min(l.policy.Give(s), s.Lendable-s.Lent, s.Slots-s.Running-s.Lent, want)
-	k := key{a.Borrower, a.Incarnation, askID(a.Number) + ID(part)}
-	if _, again := l.given[k]; n <= 0 || again {
+// lend grants a loan of at most wanted slots of one upstream. position is the
+// loan's position in the response.
+func (l *Ledger[P]) lend(req LoanRequest, upstream UpstreamSlots, wanted, position int, end clock.Millis) (Loan, bool) {
+	upstream.Lent = l.lentSlots[upstream.Instance]
+	slots := min(l.policy.Give(upstream), upstream.Lendable-upstream.Lent, upstream.Slots-upstream.Running-upstream.Lent, wanted)
+	key := loanKey{req.Borrower, req.Incarnation, requestLoanID(req.Number) + ID(position)}
+	if _, exists := l.lentLoans[key]; slots <= 0 || exists {
 		return Loan{}, false
 	}
-	loan := s.Loan
-	loan.ID, loan.Slots, loan.Connections = k.id, n, n*s.ConnectionsPerSlot
-	l.given[k] = given{loan: loan, until: until}
-	l.add(loan.Instance, n)
+	loan := upstream.Loan
+	loan.ID, loan.Slots, loan.Connections = key.id, slots, slots*upstream.ConnectionsPerSlot
+	l.lentLoans[key] = lentLoan{loan: loan, end: end}
+	l.addLent(loan.Instance, slots)
 	l.Counts.Granted++
 	return loan, true
 }
 
-func (l *Ledger[P]) add(id model.InstanceID, n int) {
-	l.lent[id] += n
+// addLent changes the number of lent slots of an instance by n.
+func (l *Ledger[P]) addLent(id model.InstanceID, n int) {
+	l.lentSlots[id] += n
 	l.Counts.LentSlots += int64(n)
-	if l.lent[id] == 0 {
-		delete(l.lent, id)
+	if l.lentSlots[id] == 0 {
+		delete(l.lentSlots, id)
 	}
 	l.changed = append(l.changed, id)
 }
 
-// HandleReturn takes returned loans in. Unknown ones are ignored: they were
-// returned before, or their time has passed.
+// HandleReturn ends the returned loans. Unknown loans are ignored: they were
+// returned before or have expired.
 func (l *Ledger[P]) HandleReturn(r Return) {
 	for _, id := range r.IDs {
 		if id&(1<<partBits-1) != 0 {
-			l.end(key{r.Borrower, r.Incarnation, id})
+			l.endLoan(loanKey{r.Borrower, r.Incarnation, id})
 			continue
 		}
-		for part := 1; part <= maxParts; part++ {
-			l.end(key{r.Borrower, r.Incarnation, id + ID(part)})
+		for position := 1; position <= maxLoansPerResponse; position++ {
+			l.endLoan(loanKey{r.Borrower, r.Incarnation, id + ID(position)})
 		}
 	}
 }
 
-func (l *Ledger[P]) end(k key) {
-	if g, ok := l.given[k]; ok {
-		delete(l.given, k)
-		l.add(g.loan.Instance, -g.loan.Slots)
+// endLoan removes a granted loan, so that its slots are no longer lent.
+func (l *Ledger[P]) endLoan(key loanKey) {
+	if granted, ok := l.lentLoans[key]; ok {
+		delete(l.lentLoans, key)
+		l.addLent(granted.loan.Instance, -granted.loan.Slots)
 	}
 }
 
-// Expire ends the loans given whose time has passed.
+// Expire ends the granted loans that the borrower certainly no longer uses.
 func (l *Ledger[P]) Expire(now clock.Millis) {
-	for k, g := range l.given {
-		if now >= g.until {
-			l.end(k)
+	for key, granted := range l.lentLoans {
+		if now >= granted.end {
+			l.endLoan(key)
 			l.Counts.Expired++
 		}
 	}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -37,7 +37,7 @@
 		{Pressure{Waiting: 12, Capacity: 4, TypicalRunTime: 50, Duration: 100}, 10},
 		{Pressure{Waiting: 2, Capacity: 20, TypicalRunTime: 1000, Duration: 100}, 0},
 		{Pressure{Waiting: 3}, 3},
-		{Pressure{Waiting: 900, TypicalRunTime: clock.Second}, maxSlots},
+		{Pressure{Waiting: 900, TypicalRunTime: clock.Second}, maxSlotsPerRequest},
 	} {
 		assert.Equal(t, Idle{}.Want(c.p), c.want, "%+v", c.p)
 	}
@@ -72,7 +72,7 @@
 }
 
 func answer(run uint64, o Message) LoanResponse {
-	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: askID(o.Request.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
+	return LoanResponse{Incarnation: run, Lease: 1000, Loans: []Loan{{ID: requestLoanID(o.Request.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
 // Guards against use after the lease, which counts from the ask, and against a
@@ -105,13 +105,13 @@
 	assert.Assert(t, l.HandleRecall(Recall{Lender: "a", Incarnation: 2}))
 	l.HandleResponse(150, o, 100, answer(1, o), true)
 	assert.Equal(t, l.BorrowedSlots(150, "p"), 0)
-	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{askID(o.Request.Number)})
+	assert.DeepEqual(t, plan(t, l, 200, nil).Return.IDs, []ID{requestLoanID(o.Request.Number)})
 
 	a := New(Settings{Self: "a", Lease: 1000, MaxRequestTime: 5000}, Idle{}, 0)
 	granted := a.Grant(0, o.Request, []UpstreamSlots{{Loan: Loan{Instance: "i", Pool: "p", Slots: 4}, Lendable: 3, ConnectionsPerSlot: 2}}, nil)
 	assert.Equal(t, len(granted.Loans), 1)
 	assert.Equal(t, a.Lent("i"), 3)
-	a.HandleReturn(Return{Borrower: "b", Incarnation: 7, IDs: []ID{askID(o.Request.Number)}})
+	a.HandleReturn(Return{Borrower: "b", Incarnation: 7, IDs: []ID{requestLoanID(o.Request.Number)}})
 	assert.Equal(t, a.Lent("i"), 0)
 }
 
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -5,24 +5,27 @@
 	"camphorridge/core/state/model"
 )
 
-// Bounds of one process's loans.
+// Limits on the loans of one process.
 const (
-	// maxParts bounds the loans that one ask is answered with, and maxSlots
-	// their slots.
-	maxParts = 16
-	maxSlots = 64
-	// maxLoans bounds the loans that a process has given, and those it holds.
+	// maxLoansPerResponse is the most loans that one response grants, and
+	// maxSlotsPerRequest the most slots that they have together.
+	maxLoansPerResponse = 16
+	maxSlotsPerRequest  = 64
+	// maxLoans is the most loans that a process has granted at once, and the
+	// most that it holds at once.
 	maxLoans = 512
 )
 
-// ID names a loan within its borrower: the number of the ask, and in the
-// lowest byte the place among the loans of the answer, from 1. The place 0
-// stands for all loans of the ask.
+// ID identifies a loan of its borrower. The lowest byte is the position of the
+// loan in its response, from 1; the other bytes are the number of the request.
+// Position 0 stands for all loans of the request.
 type ID uint64
 
+// partBits is the number of bits for the position of a loan in its response.
 const partBits = 8
 
-func askID(number uint64) ID { return ID(number << partBits) }
+// requestLoanID returns the ID that stands for all loans of a request.
+func requestLoanID(number uint64) ID { return ID(number << partBits) }
 
 // Loan is the right to use slots of one upstream.
 type Loan struct {
@@ -37,14 +40,15 @@
 	Connections int
 }
 
-// LoanRequest asks for new loans in a pool, for the renewal of held ones, or both.
+// LoanRequest asks for new loans in a pool, for the renewal of held loans, or
+// for both.
 type LoanRequest struct {
 	Borrower model.Process
 	// Incarnation tells two runs of the borrower apart.
 	Incarnation uint64
 	Number      uint64
 	Pool        model.Pool
-	// Slots is the number wanted; 0 asks for renewals only.
+	// Slots is the number of slots requested; 0 requests renewals only.
 	Slots int
 	Renew []ID
 	// MaxRequestTime is the longest time that a request of the borrower lasts.
@@ -55,51 +59,53 @@
 type LoanResponse struct {
 	// Incarnation tells two runs of the lender apart.
 	Incarnation uint64
-	// Lease is how long the loans hold from the time of the ask.
+	// Lease is the validity of the loans, from the time the request was sent.
 	Lease clock.Millis
 	Loans []Loan
-	// Renewed lists the loans whose lease starts anew; the others have ended.
+	// Renewed lists the loans whose lease starts again. The other loans of the
+	// request's Renew list have ended.
 	Renewed []ID
 }
 
-// Return gives loans back. No request uses them and their connections are
-// closed.
+// Return gives loans back. No request uses them any more and their connections
+// are closed.
 type Return struct {
 	Borrower    model.Process
 	Incarnation uint64
 	IDs         []ID
 }
 
-// Recall is sent by a lender that has started and knows no loans of the run
-// before it.
+// Recall is sent by a lender that has restarted and has no record of the loans
+// that its earlier runs granted.
 type Recall struct {
 	Lender      model.Process
 	Incarnation uint64
 }
 
-// MessageKind tells the orders apart.
+// MessageKind is the kind of a Message.
 type MessageKind int
 
-// The kinds of order.
+// The kinds of message.
 const (
 	MessageRequest MessageKind = iota
 	MessageReturn
 	MessageRecall
 )
 
-// Message is a message that the ledger wants to be sent. Its result is told by
-// Answered, Returned or Acknowledged.
+// Message is a message that the ledger wants to be sent. Its result is passed
+// to HandleResponse, HandleReturnResult or HandleRecallAck.
 type Message struct {
 	Kind    MessageKind
 	To      model.Process
 	Request LoanRequest
 	Return  Return
 	Recall  Recall
-	// CloseConnections names the connections to be closed before the message is sent.
+	// CloseConnections names the connections that must be closed before the
+	// message is sent.
 	CloseConnections []string
 }
 
-// Settings of a ledger.
+// Settings are the parameters of a ledger.
 type Settings struct {
 	Self model.Process
 	Zone model.Zone
@@ -108,27 +114,30 @@
 	// Incarnation tells two runs of this process apart.
 	Incarnation uint64
 	// Lease is the length of a lease; 0 turns lending off. It must not be
-	// lowered while loans of a run before are out.
+	// lowered while loans of an earlier run may be in use.
 	Lease clock.Millis
 	// MaxRequestTime is the longest time that a request lasts.
 	MaxRequestTime clock.Millis
-	// ReservePercent is the part of the own slots that is never lent.
+	// ReservePercent is the part of the process's own slots that is never lent.
 	ReservePercent int
 }
 
-// Counts are the counters of a ledger; all but Lent and Held only grow.
+// Counts are the counters of a ledger. All but LentSlots and HeldSlots only
+// increase.
 type Counts struct {
-	// Requested is the number of asks sent, Refused those that brought no loan.
+	// Requested is the number of loan requests sent, Refused the number of
+	// those that brought no loan.
 	Requested, Refused int64
-	// Granted and Received are loans, Expired those given that were not returned.
+	// Granted and Received count loans. Expired counts the granted loans that
+	// were not returned in time.
 	Granted, Received, Expired int64
 	// Used is the number of requests that ran on loans.
 	Used int64
-	// LentSlots and HeldSlots are slots at present.
+	// LentSlots and HeldSlots are the numbers of slots lent and borrowed now.
 	LentSlots, HeldSlots int64
 }
 
-// PoolDemand is a pool with waiters that may run.
+// PoolDemand is the demand of a pool with waiting requests that may run.
 type PoolDemand struct {
 	Pool model.Pool
 	Pressure
