--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -9,145 +9,154 @@
 	"camphorridge/core/state/model"
 )
 
-// fake is a platform in memory. Messages to and from workers take time and can
-// be lost; a worker ends its tasks when its lease runs out.
-type fake struct {
+// fakePlatform is an in-memory platform. Messages to and from workers are
+// delayed and can be lost. A worker ends its tasks when its lease expires.
+type fakePlatform struct {
 	rnd     *rand.Rand
 	now     clock.Millis
 	workers map[WorkerID]*fakeWorker
-	work    map[TaskID]*job
-	// delay and drop bound the time and the lost share in a hundred of
-	// messages; one in ten takes five times as long.
-	delay clock.Millis
-	drop  int
-	queue []message
-	// violations are tasks seen on two workers at once.
+	actual  map[TaskID]*actualTask
+	// maxDelay is the largest usual message delay; one message in ten takes up
+	// to five times as long. lossPercent is the share of messages that are
+	// lost.
+	maxDelay    clock.Millis
+	lossPercent int
+	inFlight    []delivery
+	// violations describes tasks that ran on two workers at once.
 	violations []string
-	overload   float64
-	usedCores  float64
+	// overload and usedCores sum up, over all steps, the cores used beyond the
+	// size of workers and all cores used.
+	overload  float64
+	usedCores float64
 }
 
-type message struct {
+// delivery is a message that arrives at a given time.
+type delivery struct {
 	at clock.Millis
 	do func()
 }
 
 type fakeWorker struct {
-	size  Size
-	lease clock.Millis
-	cut   bool
-	bad   bool
-	runs  map[TaskID]*running
+	size        Size
+	leaseEnd    clock.Millis
+	partitioned bool
+	broken      bool
+	runs        map[TaskID]*fakeRun
 }
 
-type running struct {
-	attempt int
-	left    clock.Millis
-	percent int
-	ends    bool
+// fakeRun is a run of a task on a worker.
+type fakeRun struct {
+	attempt    int
+	remaining  clock.Millis
+	cpuPercent int
+	stopping   bool
 }
 
-// job is what a task really is.
-type job struct {
-	size  Size
-	takes clock.Millis
-	fails bool
-	over  bool
-	lost  int
+// actualTask is how a task really behaves, whatever its submitter declared.
+type actualTask struct {
+	size       Size
+	duration   clock.Millis
+	fails      bool
+	done       bool
+	failedRuns int
 }
 
-func newFake(seed uint64, workers int) *fake {
-	f := &fake{rnd: rand.New(rand.NewPCG(seed, 3)), now: clock.Hour, workers: map[WorkerID]*fakeWorker{}, work: map[TaskID]*job{}}
+func newFake(seed uint64, workers int) *fakePlatform {
+	f := &fakePlatform{rnd: rand.New(rand.NewPCG(seed, 3)), now: clock.Hour, workers: map[WorkerID]*fakeWorker{}, actual: map[TaskID]*actualTask{}}
 	for k := range workers {
 		f.workers[WorkerID(fmt.Sprintf("w%04d", k))] = &fakeWorker{
-			size: Size{MilliCores: 16000, MemoryMiB: 32768}, runs: map[TaskID]*running{},
+			size: Size{MilliCores: 16000, MemoryMiB: 32768}, runs: map[TaskID]*fakeRun{},
 		}
 	}
 	return f
 }
 
-func (f *fake) send(w WorkerID, do func()) {
-	if f.workers[w].cut || f.rnd.IntN(100) < f.drop {
+// send delivers a message to or from a worker after a random delay, or loses
+// it.
+func (f *fakePlatform) send(w WorkerID, do func()) {
+	if f.workers[w].partitioned || f.rnd.IntN(100) < f.lossPercent {
 		return
 	}
-	late := clock.Millis(f.rnd.Int64N(int64(f.delay) + 1))
+	delay := clock.Millis(f.rnd.Int64N(int64(f.maxDelay) + 1))
 	if f.rnd.IntN(10) == 0 {
-		late *= 5
+		delay *= 5
 	}
-	f.queue = append(f.queue, message{f.now + late, do})
+	f.inFlight = append(f.inFlight, delivery{f.now + delay, do})
 }
 
-func (f *fake) run(a Action) *running {
+// run returns the run that an action refers to, or an unused one if it has
+// ended.
+func (f *fakePlatform) run(a Action) *fakeRun {
 	if r := f.workers[a.Worker].runs[a.Task]; r != nil && r.attempt == a.Attempt {
 		return r
 	}
-	return &running{}
+	return &fakeRun{}
 }
 
-func (f *fake) Start(a Action) error {
+func (f *fakePlatform) Start(a Action) error {
 	f.send(a.Worker, func() {
-		if w := f.workers[a.Worker]; f.now <= a.LeaseEnd && f.now <= w.lease {
-			w.runs[a.Task] = &running{attempt: a.Attempt, left: f.work[a.Task].takes, percent: 100}
+		if w := f.workers[a.Worker]; f.now <= a.LeaseEnd && f.now <= w.leaseEnd {
+			w.runs[a.Task] = &fakeRun{attempt: a.Attempt, remaining: f.actual[a.Task].duration, cpuPercent: 100}
 		}
 	})
 	return nil
 }
 
-func (f *fake) Renew(a Action) error {
-	f.send(a.Worker, func() { f.workers[a.Worker].lease = max(f.workers[a.Worker].lease, a.LeaseEnd) })
+func (f *fakePlatform) Renew(a Action) error {
+	f.send(a.Worker, func() { f.workers[a.Worker].leaseEnd = max(f.workers[a.Worker].leaseEnd, a.LeaseEnd) })
 	return nil
 }
 
-func (f *fake) Checkpoint(a Action) error {
+func (f *fakePlatform) Checkpoint(a Action) error {
 	f.send(a.Worker, func() {
-		if r := f.run(a); !r.ends {
-			r.ends = true
-			f.work[a.Task].takes = max(r.left, 1)
+		if r := f.run(a); !r.stopping {
+			r.stopping = true
+			f.actual[a.Task].duration = max(r.remaining, 1)
 		}
 	})
 	return nil
 }
 
-func (f *fake) Throttle(a Action) error {
-	f.send(a.Worker, func() { f.run(a).percent = a.CPUPercent })
+func (f *fakePlatform) Throttle(a Action) error {
+	f.send(a.Worker, func() { f.run(a).cpuPercent = a.CPUPercent })
 	return nil
 }
 
-func (f *fake) Stop(a Action) error {
-	f.send(a.Worker, func() { f.run(a).ends = true })
+func (f *fakePlatform) Stop(a Action) error {
+	f.send(a.Worker, func() { f.run(a).stopping = true })
 	return nil
 }
 
-// tick lets time pass: messages arrive, tasks advance, leases run out, and
-// workers report what they run.
-func tick[F FitPolicy, S Sizer, J HealthPolicy](f *fake, b *Placer[F, S, J], by clock.Millis) {
-	f.now += by
-	for k := 0; k < len(f.queue); k++ {
-		if f.queue[k].at <= f.now {
-			f.queue[k].do()
-			f.queue = slices.Delete(f.queue, k, k+1)
+// advanceTime advances the clock: messages arrive, tasks progress, leases
+// expire, and workers report what they run.
+func advanceTime[F FitPolicy, S Sizer, J HealthPolicy](f *fakePlatform, placer *Placer[F, S, J], step clock.Millis) {
+	f.now += step
+	for k := 0; k < len(f.inFlight); k++ {
+		if f.inFlight[k].at <= f.now {
+			f.inFlight[k].do()
+			f.inFlight = slices.Delete(f.inFlight, k, k+1)
 			k--
 		}
 	}
-	on := map[TaskID]WorkerID{}
+	runsOn := map[TaskID]WorkerID{}
 	for _, id := range sortedKeys(f.workers) {
 		w := f.workers[id]
-		if w.lease < f.now {
+		if w.leaseEnd < f.now {
 			clear(w.runs)
 		}
 		cores := 0
 		for _, tid := range sortedKeys(w.runs) {
-			r, j := w.runs[tid], f.work[tid]
-			if other := on[tid]; other != "" {
+			r, actual := w.runs[tid], f.actual[tid]
+			if other := runsOn[tid]; other != "" {
 				f.violations = append(f.violations, fmt.Sprintf("%s runs on %s and %s", tid, other, id))
 			}
-			on[tid] = id
-			cores += j.size.MilliCores * r.percent / 100
-			f.advance(w, tid, r, by, func(o Outcome) { f.send(id, func() { b.RunEnded(tid, r.attempt, o, f.now) }) })
+			runsOn[tid] = id
+			cores += actual.size.MilliCores * r.cpuPercent / 100
+			f.advance(w, tid, r, step, func(o Outcome) { f.send(id, func() { placer.RunEnded(tid, r.attempt, o, f.now) }) })
 			if f.rnd.IntN(4) == 0 {
-				use := j.size
-				use.MilliCores = use.MilliCores * r.percent / 100 * (85 + f.rnd.IntN(31)) / 100
-				f.send(id, func() { b.ReportUsage(tid, r.attempt, use) })
+				usage := actual.size
+				usage.MilliCores = usage.MilliCores * r.cpuPercent / 100 * (85 + f.rnd.IntN(31)) / 100
+				f.send(id, func() { placer.ReportUsage(tid, r.attempt, usage) })
 			}
 		}
 		f.usedCores += float64(cores) / 1000
@@ -157,24 +166,24 @@
 			for tid, r := range w.runs {
 				runs = append(runs, Run{tid, r.attempt})
 			}
-			lease := w.lease
-			f.send(id, func() { b.Heartbeat(id, lease, runs) })
+			leaseEnd := w.leaseEnd
+			f.send(id, func() { placer.Heartbeat(id, leaseEnd, runs) })
 		}
 	}
 }
 
-// advance lets one run go on and ends it when its time has come.
-func (f *fake) advance(w *fakeWorker, id TaskID, r *running, by clock.Millis, end func(Outcome)) {
-	j := f.work[id]
-	r.left -= by * clock.Millis(r.percent) / 100
+// advance lets a run progress and ends it when it is due.
+func (f *fakePlatform) advance(w *fakeWorker, id TaskID, r *fakeRun, step clock.Millis, end func(Outcome)) {
+	actual := f.actual[id]
+	r.remaining -= step * clock.Millis(r.cpuPercent) / 100
 	switch {
-	case r.ends:
+	case r.stopping:
 		end(OutcomeStopped)
-	case w.bad || (j.fails && r.left < j.takes/2):
-		j.lost++
+	case w.broken || (actual.fails && r.remaining < actual.duration/2):
+		actual.failedRuns++
 		end(OutcomeFailed)
-	case r.left <= 0:
-		j.over = true
+	case r.remaining <= 0:
+		actual.done = true
 		end(OutcomeDone)
 	default:
 		return
@@ -182,20 +191,21 @@
 	delete(w.runs, id)
 }
 
-func (f *fake) fill(b interface{ SetWorker(Worker) }) {
+func (f *fakePlatform) addWorkers(placer interface{ SetWorker(Worker) }) {
 	for _, id := range sortedKeys(f.workers) {
-		b.SetWorker(Worker{ID: id, Size: f.workers[id].size})
+		placer.SetWorker(Worker{ID: id, Size: f.workers[id].size})
 	}
 }
 
-// add makes a task whose declared size is off by the given factors in percent.
-func (f *fake) add(team, n, cores int, takes clock.Millis, off int) Task {
+// newTask returns a task whose declared processors are the given percentage of
+// what it uses.
+func (f *fakePlatform) newTask(team, n, cores int, duration clock.Millis, declaredPercent int) Task {
 	t := Task{
 		ID: TaskID(fmt.Sprintf("t%d-%05d", team, n)), Team: model.Customer(fmt.Sprintf("team%d", team)),
 		Class: fmt.Sprintf("class%d", cores), Submitted: f.now, CanCheckpoint: n%3 == 0, CanThrottle: n%3 == 1,
-		Declared: Size{MilliCores: cores * off / 100, MemoryMiB: 512},
+		Declared: Size{MilliCores: cores * declaredPercent / 100, MemoryMiB: 512},
 	}
-	f.work[t.ID] = &job{size: Size{MilliCores: cores, MemoryMiB: 512}, takes: takes}
+	f.actual[t.ID] = &actualTask{size: Size{MilliCores: cores, MemoryMiB: 512}, duration: duration}
 	return t
 }
 
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -53,10 +53,12 @@
 	out Plan
 }
 
+// worker is a Worker with what runs on it.
 type worker struct {
 	Worker
 	tasks map[TaskID]*task
-	used  Size
+	// used is the sum of what its tasks have reserved.
+	used Size
 	// preemptible is the part of used that urgent work may preempt.
 	preemptible Size
 	// leaseEnd is the end of the lease that was last sent; the worker itself may
@@ -70,6 +72,7 @@
 	reservedFor   *task
 }
 
+// task is a Task with its state.
 type task struct {
 	Task
 	phase      Phase
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -6,7 +6,8 @@
 	"camphorridge/core/state/model"
 )
 
-// Class identifies the tasks of a team that sizes are learned for together.
+// Class identifies a class of a team's tasks. Sizes and results are learned per
+// class.
 type Class struct {
 	Team model.Customer
 	Name string
@@ -41,6 +42,8 @@
 	seen    map[Class]*moments
 }
 
+// moments are the running averages of a class's use: processors first, memory
+// second.
 type moments struct {
 	reports         int
 	mean            [2]float64
@@ -94,6 +97,8 @@
 // windowReports is the number of reports that are kept for each class.
 const windowReports = 32
 
+// window is a ring of the latest reports of a class. observed counts all
+// reports.
 type window struct {
 	used            [windowReports]Size
 	observed        int
--- a/core/state/place/team.go
+++ b/core/state/place/team.go
@@ -11,7 +11,8 @@
 // team is a customer with its waiting tasks, quota use and disruption budget.
 type team struct {
 	contract model.Contract
-	used     Size
+	// used is the sum of what its running tasks have reserved.
+	used Size
 	// waiting may hold cancelled tasks; firstWaiting removes them when they
 	// reach the top.
 	waiting heap.Heap[queuedTask]
