--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -59,7 +59,7 @@
 type LoanResponse struct {
 	// Incarnation tells two runs of the lender apart.
 	Incarnation uint64
-	// Lease is the validity of the loans, from the time the request was sent.
+	// Lease is how long the loans are valid, from the sending of the request.
 	Lease clock.Millis
 	Loans []Loan
 	// Renewed lists the loans whose lease starts again. The other loans of the
@@ -92,8 +92,8 @@
 	MessageRecall
 )
 
-// Message is a message that the ledger wants to be sent. Its result is passed
-// to HandleResponse, HandleReturnResult or HandleRecallAck.
+// Message is a message to be sent to another process. The caller passes its
+// result to HandleResponse, HandleReturnResult or HandleRecallAck.
 type Message struct {
 	Kind    MessageKind
 	To      model.Process
