Word the tests of core/state/plan

Test heads say which failure they guard against. fleet_test.go is now harness_test.go, with fleetHarness (startMoves, finishMoves, setLost); surge_test.go has surgeHarness, setDemand and advanceSecond. Renamed tests: TestReserveOfOthersIsKept and TestPreferencesDecide. No check changed; one failure message is reworded. Metric and subbenchmark names stay.

--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -10,92 +10,93 @@
 	"camphorridge/core/state/model"
 )
 
-// Guards against an instance in two pools, promised instances that stay
-// missing although enough are owned, more moves than were lacking, and a book
-// that decides differently from the state it was filled from.
+// Guards against an instance in two pools, promised instances that stay missing
+// although there are enough, unneeded moves, and an index that decides
+// differently from the state it was filled from.
 func TestAssignUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		contracts := drawContracts(t, 4)
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 24).Draw(t, "n"), 3, contracts)
+		h := newFleetHarness(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 24).Draw(t, "n"), 3, contracts)
 		set := Settings{BorrowReserve: true, MaxExchangeMoves: 4}
-		ids := w.ids()
+		ids := h.instanceIDs()
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
-			a := Decide(Balance{}, set, w.book, nil)
-			assert.DeepEqual(t, a, Assign(Balance{}, set, w.input()))
-			if n := w.release(a.Moves); n > 0 {
+			a := Decide(Balance{}, set, h.index, nil)
+			assert.DeepEqual(t, a, Assign(Balance{}, set, h.input()))
+			if n := h.startMoves(a.Moves); n > 0 {
 				t.Fatalf("%d moves were refused: %v", n, a.Moves)
 			}
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
-				id := ids[w.rnd.IntN(len(ids))]
-				w.lose(func(i model.Instance) bool { return i.ID == id }, true)
+				id := ids[h.rnd.IntN(len(ids))]
+				h.setLost(func(i model.Instance) bool { return i.ID == id }, true)
 			case 1:
-				zone := model.Zone(fmt.Sprintf("z%02d", w.rnd.IntN(3)))
-				w.lose(func(i model.Instance) bool { return i.Zone == zone }, true)
+				zone := model.Zone(fmt.Sprintf("z%02d", h.rnd.IntN(3)))
+				h.setLost(func(i model.Instance) bool { return i.Zone == zone }, true)
 			case 2:
-				w.lose(func(model.Instance) bool { return true }, false)
+				h.setLost(func(model.Instance) bool { return true }, false)
 			default:
-				if n := w.finish(); n > 0 {
+				if n := h.finishMoves(); n > 0 {
 					t.Fatalf("%d steps were refused", n)
 				}
 			}
 		}
-		w.lose(func(model.Instance) bool { return true }, false)
-		w.finish()
-		w.release(Decide(Spread{}, set, w.book, nil).Moves)
-		w.finish()
-		checkSettled(t, w, set)
+		h.setLost(func(model.Instance) bool { return true }, false)
+		h.finishMoves()
+		h.startMoves(Decide(Spread{}, set, h.index, nil).Moves)
+		h.finishMoves()
+		checkStable(t, h, set)
 	})
 }
 
-// checkSettled asserts that a whole fleet holds what it can, and needs no
-// further moves.
-func checkSettled(t *rapid.T, w *world, set Settings) {
-	a := Decide(Spread{}, set, w.book, nil)
-	need := 0
-	for _, n := range w.book.counts.required {
-		need += n
+// checkStable checks that a fleet without losses has all the instances that it
+// can have, and needs no further moves.
+func checkStable(t *rapid.T, h *fleetHarness, set Settings) {
+	a := Decide(Spread{}, set, h.index, nil)
+	required := 0
+	for _, n := range h.index.counts.required {
+		required += n
 	}
-	short := 0
+	missing := 0
 	for _, g := range a.Gaps {
 		if g.Kind != GapExposed {
-			short += g.Need - g.Have
+			missing += g.Need - g.Have
 		}
 	}
-	if short != max(0, need-len(w.state.Instances)) || len(a.Moves) > 0 {
-		t.Fatalf("%d short of %d with %d instances; moves %v", short, need, len(w.state.Instances), a.Moves)
+	if missing != max(0, required-len(h.state.Instances)) || len(a.Moves) > 0 {
+		t.Fatalf("%d short of %d with %d instances; moves %v", missing, required, len(h.state.Instances), a.Moves)
 	}
 }
 
-// Guards against a repair that lets one customer use up what is reserved for
-// another.
-func TestReserveOfOthersIsKept(t *testing.T) {
+// Guards against a repair for one customer that uses up the reserve of another.
+func TestReserveOfOtherCustomersIsKept(t *testing.T) {
 	contracts := []model.Contract{
 		{Customer: "a", Spare: 1, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: 3}}},
 		{Customer: "b", Spare: 2, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pb", Instances: 3}}},
 	}
-	w := newWorld(1, 9, 3, contracts)
-	w.release(Decide(Spread{}, Settings{}, w.book, nil).Moves)
-	w.finish()
-	gone := 0
-	w.lose(func(i model.Instance) bool { gone++; return i.Pool == "pa" }, true)
-	a := Decide(Spread{}, Settings{}, w.book, nil)
+	h := newFleetHarness(1, 9, 3, contracts)
+	h.startMoves(Decide(Spread{}, Settings{}, h.index, nil).Moves)
+	h.finishMoves()
+	visited := 0
+	h.setLost(func(i model.Instance) bool { visited++; return i.Pool == "pa" }, true)
+	a := Decide(Spread{}, Settings{}, h.index, nil)
 	assert.Equal(t, len(a.Moves), 1)
-	promised, _ := missingOf(a)
+	promised, _ := missingCounts(a)
 	assert.Equal(t, promised, 2)
-	assert.Equal(t, len(Decide(Spread{}, Settings{BorrowReserve: true}, w.book, nil).Moves), 3)
+	assert.Equal(t, len(Decide(Spread{}, Settings{BorrowReserve: true}, h.index, nil).Moves), 3)
 }
 
-// optimum searches every assignment of a tiny fleet: least missing first,
-// then least exposure, then fewest moves.
-func optimum(in Input, pools []Pool) (best [3]int) {
+// optimalOutcome searches every assignment of a tiny fleet for the one with the
+// fewest missing instances, then the lowest exposure, then the fewest moves. It
+// returns these numbers; missing promised instances count a hundredfold,
+// missing spare instances once.
+func optimalOutcome(in Input, pools []Pool) (best [3]int) {
 	best = [3]int{1 << 30, 0, 0}
-	at := make([]Pool, len(in.Instances))
+	poolOf := make([]Pool, len(in.Instances))
 	var walk func(k, moves int)
 	walk = func(k, moves int) {
-		if k < len(at) {
+		if k < len(poolOf) {
 			for _, p := range pools {
-				at[k] = p
+				poolOf[k] = p
 				n := moves
 				if p != in.Instances[k].Pool {
 					n++
@@ -104,26 +105,26 @@
 			}
 			return
 		}
-		b := NewFleetIndex(in.Contracts)
+		index := NewFleetIndex(in.Contracts)
 		for j, i := range in.Instances {
-			i.Pool, i.Target = at[j], at[j]
-			b.SetInstance(i, in.Lost[i.ID])
+			i.Pool, i.Target = poolOf[j], poolOf[j]
+			index.SetInstance(i, in.Lost[i.ID])
 		}
-		short, spare, exposed := 0, 0, 0
-		for p, need := range b.counts.required {
-			if b.counts.spares[p] {
-				spare += max(0, need-b.counts.instances[p])
+		missing, spare, exposed := 0, 0, 0
+		for p, need := range index.counts.required {
+			if index.counts.spares[p] {
+				spare += max(0, need-index.counts.instances[p])
 			} else {
-				short += max(0, need-b.counts.instances[p])
+				missing += max(0, need-index.counts.instances[p])
 			}
 		}
-		for _, g := range b.counts.groups {
+		for _, g := range index.counts.groups {
 			for _, kind := range domainKinds {
-				n, _ := b.counts.worstLoss(g, kind)
+				n, _ := index.counts.worstLoss(g, kind)
 				exposed += n
 			}
 		}
-		if got := [3]int{short*100 + spare, exposed, moves}; less(got, best) {
+		if got := [3]int{missing*100 + spare, exposed, moves}; less(got, best) {
 			best = got
 		}
 	}
@@ -131,6 +132,7 @@
 	return best
 }
 
+// less compares outcomes lexicographically.
 func less(a, b [3]int) bool {
 	for k := range a {
 		if a[k] != b[k] {
@@ -140,76 +142,76 @@
 	return false
 }
 
-// gapTo runs a policy on a tiny fleet after a loss and returns what it reached
-// next to the optimum.
-func gapTo[P Policy](p P, seed uint64) (got, best [3]int) {
+// outcomeAndOptimum runs a policy on a tiny fleet after a loss. It returns the
+// numbers of optimalOutcome that the policy reached and those of the optimum.
+func outcomeAndOptimum[P Policy](policy P, seed uint64) (got, best [3]int) {
 	contracts := []model.Contract{
 		{Customer: "a", Covers: model.DomainZone, Spare: 1, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: 2}, {Pool: "pb", Instances: 1}}},
 	}
-	w := newWorld(seed, 7, 3, contracts)
-	for _, id := range w.ids() {
-		i := w.state.Instances[id]
-		i.Pool = []Pool{"new", "pa", "pb", "spare"}[w.rnd.IntN(4)]
+	h := newFleetHarness(seed, 7, 3, contracts)
+	for _, id := range h.instanceIDs() {
+		i := h.state.Instances[id]
+		i.Pool = []Pool{"new", "pa", "pb", "spare"}[h.rnd.IntN(4)]
 		i.Version = 0
-		w.state.Instances[id] = i
-		w.book.SetInstance(i, false)
+		h.state.Instances[id] = i
+		h.index.SetInstance(i, false)
 	}
-	victim := w.ids()[w.rnd.IntN(7)]
-	w.lose(func(i model.Instance) bool { return i.ID == victim }, true)
-	in := w.input()
-	a := Assign(p, Settings{BorrowReserve: true, MaxExchangeMoves: 6}, in)
-	promised, exposed := missingOf(a)
+	lostID := h.instanceIDs()[h.rnd.IntN(7)]
+	h.setLost(func(i model.Instance) bool { return i.ID == lostID }, true)
+	in := h.input()
+	a := Assign(policy, Settings{BorrowReserve: true, MaxExchangeMoves: 6}, in)
+	promised, exposed := missingCounts(a)
 	spare := 0
 	for _, g := range a.Gaps {
 		if g.Kind == GapSpare {
 			spare += g.Need - g.Have
 		}
 	}
-	return [3]int{promised*100 + spare, exposed, len(a.Moves)}, optimum(in, []Pool{"new", "pa", "pb", "spare"})
+	return [3]int{promised*100 + spare, exposed, len(a.Moves)}, optimalOutcome(in, []Pool{"new", "pa", "pb", "spare"})
 }
 
-// Guards against a policy that leaves more missing than the optimum, or that
-// claims to be better than it.
+// Guards against a policy that leaves more instances missing than the optimum,
+// or that reports a better result than it.
 func TestGapToOptimum(t *testing.T) {
 	for seed := range uint64(12) {
-		got, best := gapTo(Balance{}, seed)
+		got, best := outcomeAndOptimum(Balance{}, seed)
 		assert.Equal(t, got[0], best[0], "seed %d: %v against %v", seed, got, best)
 		assert.Assert(t, !less(got, best), "seed %d: %v beats %v", seed, got, best)
 	}
 }
 
-// Guards against a stated exposure that differs from what a real loss of the
-// domain leaves missing after its repair.
+// Guards against a reported exposure that differs from the instances that are
+// missing after a real loss of the failure domain and its repair.
 func TestExposureIsWhatALossLeavesMissing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		promised, spare := rapid.IntRange(1, 6).Draw(t, "promised"), rapid.IntRange(0, 4).Draw(t, "spare")
 		contracts := []model.Contract{{
 			Customer: "a", Covers: model.DomainZone, Spare: spare, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: promised}},
 		}}
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), promised+spare+rapid.IntRange(0, 3).Draw(t, "surplus"), 3, contracts)
-		for k, id := range w.ids() {
-			i := w.state.Instances[id]
+		h := newFleetHarness(rapid.Uint64().Draw(t, "seed"), promised+spare+rapid.IntRange(0, 3).Draw(t, "surplus"), 3, contracts)
+		for k, id := range h.instanceIDs() {
+			i := h.state.Instances[id]
 			i.Pool = "spare"
-			if k >= spare || w.rnd.IntN(2) == 0 {
+			if k >= spare || h.rnd.IntN(2) == 0 {
 				i.Pool = "pa"
 			}
-			w.state.Instances[id] = i
-			w.book.SetInstance(i, false)
+			h.state.Instances[id] = i
+			h.index.SetInstance(i, false)
 		}
-		g := w.book.counts.groups["spare"]
+		g := h.index.counts.groups["spare"]
 		for _, zone := range []string{"z00", "z01", "z02"} {
-			want := w.book.counts.missingAfterLoss(g, model.DomainZone, zone)
+			want := h.index.counts.missingAfterLoss(g, model.DomainZone, zone)
 			in := func(i model.Instance) bool { return string(i.Zone) == zone }
-			w.lose(in, true)
-			got, _ := missingOf(Decide(Spread{}, Settings{}, w.book, nil))
-			w.lose(in, false)
+			h.setLost(in, true)
+			got, _ := missingCounts(Decide(Spread{}, Settings{}, h.index, nil))
+			h.setLost(in, false)
 			if got != want {
 				t.Fatalf("the loss of %s leaves %d missing; stated were %d", zone, got, want)
 			}
 		}
-		worst, _ := w.book.counts.worstLoss(g, model.DomainZone)
+		worst, _ := h.index.counts.worstLoss(g, model.DomainZone)
 		for _, zone := range []string{"z00", "z01", "z02"} {
-			worst -= max(0, w.book.counts.missingAfterLoss(g, model.DomainZone, zone)-worst) * 1000
+			worst -= max(0, h.index.counts.missingAfterLoss(g, model.DomainZone, zone)-worst) * 1000
 		}
 		if worst < 0 {
 			t.Fatal("a domain is worse than the stated worst one")
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -9,48 +9,49 @@
 	"camphorridge/core/state/model"
 )
 
+// fleets are the pool sizes and the covered failure domain of both users.
 var fleets = []struct {
 	name   string
 	covers model.FailureDomain
 	sizes  []int
 }{{"pruefkette", model.DomainRack, []int{8, 9, 8, 8, 9}}, {"pomar-alto", model.DomainZone, []int{8, 8, 9, 9, 8}}}
 
-// BenchmarkRepair reports moves, idle instances and what is missing or exposed
-// after the first assignment, a rack loss, a second loss of one instance right
-// after, and the return of all; means over 20 seeds.
+// BenchmarkRepair reports moves, idle instances and the missing or exposed
+// instances after the first assignment, the loss of a rack, the loss of one
+// more instance right after it, and the return of all; means over 20 seeds.
 func BenchmarkRepair(b *testing.B) {
 	for _, f := range fleets {
-		repair(b, f.name+"/first-name", FirstByName{}, f.covers, f.sizes)
-		repair(b, f.name+"/spread", Spread{}, f.covers, f.sizes)
-		repair(b, f.name+"/balance", Balance{}, f.covers, f.sizes)
+		benchmarkRepair(b, f.name+"/first-name", FirstByName{}, f.covers, f.sizes)
+		benchmarkRepair(b, f.name+"/spread", Spread{}, f.covers, f.sizes)
+		benchmarkRepair(b, f.name+"/balance", Balance{}, f.covers, f.sizes)
 	}
 }
 
-func repair[P Policy](b *testing.B, name string, p P, covers model.FailureDomain, sizes []int) {
+func benchmarkRepair[P Policy](b *testing.B, name string, policy P, covers model.FailureDomain, sizes []int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 20
 		var moves, idle, missing, exposed, refused float64
 		for b.Loop() {
 			moves, idle, missing, exposed, refused = 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
-				w := newWorld(seed, 54, 3, users(covers, 8, sizes...))
+				h := newFleetHarness(seed, 54, 3, userContracts(covers, 8, sizes...))
 				settle := func() {
-					a := Decide(p, Settings{MaxExchangeMoves: 8}, w.book, nil)
-					refused += float64(w.release(a.Moves) + w.finish())
-					m, e := missingOf(a)
+					a := Decide(policy, Settings{MaxExchangeMoves: 8}, h.index, nil)
+					refused += float64(h.startMoves(a.Moves) + h.finishMoves())
+					m, e := missingCounts(a)
 					missing, exposed, idle = missing+float64(m), exposed+float64(e), idle+float64(a.Idle)/4
 				}
 				settle()
-				w.moves = 0
-				rack := w.state.Instances[w.ids()[w.rnd.IntN(54)]].Rack
-				w.lose(func(i model.Instance) bool { return i.Rack == rack }, true)
+				h.moves = 0
+				rack := h.state.Instances[h.instanceIDs()[h.rnd.IntN(54)]].Rack
+				h.setLost(func(i model.Instance) bool { return i.Rack == rack }, true)
 				settle()
-				second := w.ids()[w.rnd.IntN(54)]
-				w.lose(func(i model.Instance) bool { return i.ID == second }, true)
+				second := h.instanceIDs()[h.rnd.IntN(54)]
+				h.setLost(func(i model.Instance) bool { return i.ID == second }, true)
 				settle()
-				w.lose(func(model.Instance) bool { return true }, false)
+				h.setLost(func(model.Instance) bool { return true }, false)
 				settle()
-				moves += float64(w.moves)
+				moves += float64(h.moves)
 			}
 		}
 		b.ReportMetric(moves/seeds, "moves")
@@ -61,21 +62,21 @@
 	})
 }
 
-// BenchmarkGap reports how far each policy is from the optimum of tiny fleets.
+// BenchmarkGap reports how far each policy is from the optimum on tiny fleets.
 func BenchmarkGap(b *testing.B) {
-	gap(b, "first-name", FirstByName{})
-	gap(b, "spread", Spread{})
-	gap(b, "balance", Balance{})
+	benchmarkGap(b, "first-name", FirstByName{})
+	benchmarkGap(b, "spread", Spread{})
+	benchmarkGap(b, "balance", Balance{})
 }
 
-func gap[P Policy](b *testing.B, name string, p P) {
+func benchmarkGap[P Policy](b *testing.B, name string, policy P) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 12
 		var sum [3]float64
 		for b.Loop() {
 			sum = [3]float64{}
 			for seed := range uint64(seeds) {
-				got, best := gapTo(p, seed)
+				got, best := outcomeAndOptimum(policy, seed)
 				for k := range sum {
 					sum[k] += float64(got[k]-best[k]) / seeds
 				}
@@ -87,50 +88,50 @@
 	})
 }
 
-// BenchmarkSurge reports ten minutes of services that peak in turn, for each
-// way to choose and both preferences; means over 5 seeds.
+// BenchmarkSurge simulates ten minutes of services that peak in turn, for each
+// chooser and the weights of both users; means over 5 seeds.
 func BenchmarkSurge(b *testing.B) {
 	for _, u := range []struct {
 		name  string
 		w     Weights
 		sizes []int
 	}{{"pruefkette", RolloutFirst(), fleets[0].sizes}, {"pomar-alto", BufferFirst(), fleets[1].sizes}} {
-		surges(b, u.name+"/queue-only", QueueOnly{}, u.w, u.sizes)
-		surges(b, u.name+"/eager", Eager{}, u.w, u.sizes)
-		surges(b, u.name+"/cheapest", Cheapest{}, u.w, u.sizes)
+		benchmarkSurge(b, u.name+"/queue-only", QueueOnly{}, u.w, u.sizes)
+		benchmarkSurge(b, u.name+"/eager", Eager{}, u.w, u.sizes)
+		benchmarkSurge(b, u.name+"/cheapest", Cheapest{}, u.w, u.sizes)
 		u.w.ReturnDelayMillis = 0
-		surges(b, u.name+"/cheapest-no-hold", Cheapest{}, u.w, u.sizes)
+		benchmarkSurge(b, u.name+"/cheapest-no-hold", Cheapest{}, u.w, u.sizes)
 		u.w.ReturnDelayMillis, u.w.Donate = 10*clock.Second, true
-		surges(b, u.name+"/cheapest-donate", Cheapest{}, u.w, u.sizes)
+		benchmarkSurge(b, u.name+"/cheapest-donate", Cheapest{}, u.w, u.sizes)
 	}
 }
 
-func surges[C Chooser](b *testing.B, name string, c C, w Weights, sizes []int) {
+func benchmarkSurge[C Chooser](b *testing.B, name string, chooser C, weights Weights, sizes []int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 5
-		var waited, refused, lent, moves, breaches float64
+		var waited, refused, lent, moves, violations float64
 		for b.Loop() {
-			waited, refused, lent, moves, breaches = 0, 0, 0, 0, 0
+			waited, refused, lent, moves, violations = 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
-				r := newSurge(seed, sizes...)
+				h := newSurgeHarness(seed, sizes...)
 				for range 600 {
-					second(r, c, w)
+					advanceSecond(h, chooser, weights)
 				}
-				waited += r.waited * 1000 / r.requests
-				refused += r.refused * 1000 / r.requests
-				lent, moves, breaches = lent+r.lent, moves+float64(r.w.moves), breaches+float64(r.breaches)
+				waited += h.waited * 1000 / h.requests
+				refused += h.refused * 1000 / h.requests
+				lent, moves, violations = lent+h.lent, moves+float64(h.fleet.moves), violations+float64(h.violations)
 			}
 		}
 		b.ReportMetric(waited/seeds, "wait-ms/req")
 		b.ReportMetric(refused/seeds, "refused-permille")
 		b.ReportMetric(lent/seeds, "lent-inst-s")
 		b.ReportMetric(moves/seeds, "moves")
-		b.ReportMetric(breaches, "violations")
+		b.ReportMetric(violations, "violations")
 	})
 }
 
 // BenchmarkPass reports the time and memory of one decision after 12 changes,
-// with the kept counts and counting anew.
+// with the index and with counting from scratch.
 func BenchmarkPass(b *testing.B) {
 	for _, size := range []struct{ n, zones, pools int }{{50, 3, 5}, {500, 3, 10}, {5100, 20, 37}} {
 		var c []model.Contract
@@ -140,22 +141,22 @@
 				Pools: []model.PoolShare{{Pool: Pool(fmt.Sprintf("p%02d", k)), Instances: size.n/size.pools - 1}},
 			})
 		}
-		w := newWorld(1, size.n, size.zones, c)
-		w.release(Decide(Spread{}, Settings{}, w.book, nil).Moves)
-		w.finish()
-		b.Run(fmt.Sprintf("index/%d", size.n), func(b *testing.B) { passes(b, w, false) })
-		b.Run(fmt.Sprintf("scan/%d", size.n), func(b *testing.B) { passes(b, w, true) })
+		h := newFleetHarness(1, size.n, size.zones, c)
+		h.startMoves(Decide(Spread{}, Settings{}, h.index, nil).Moves)
+		h.finishMoves()
+		b.Run(fmt.Sprintf("index/%d", size.n), func(b *testing.B) { benchmarkPasses(b, h, false) })
+		b.Run(fmt.Sprintf("scan/%d", size.n), func(b *testing.B) { benchmarkPasses(b, h, true) })
 	}
 }
 
-func passes(b *testing.B, w *world, scan bool) {
+func benchmarkPasses(b *testing.B, h *fleetHarness, scan bool) {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	book := NewFleetIndex(w.contracts)
-	in := w.input()
+	index := NewFleetIndex(h.contracts)
+	in := h.input()
 	for _, i := range in.Instances {
-		book.SetInstance(i, false)
+		index.SetInstance(i, false)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -167,16 +168,16 @@
 		for j := range 12 {
 			i := in.Instances[(k*12+j*4)%len(in.Instances)]
 			lost[i.ID] = j%3 == 0
-			book.SetInstance(i, j%3 == 0)
+			index.SetInstance(i, j%3 == 0)
 		}
 		if scan {
 			in.Lost = lost
 			Assign(Spread{}, Settings{}, in)
 		} else {
-			Decide(Spread{}, Settings{}, book, nil)
+			Decide(Spread{}, Settings{}, index, nil)
 		}
 		for id := range lost {
-			book.SetInstance(w.state.Instances[id], false)
+			index.SetInstance(h.state.Instances[id], false)
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "book-KiB")
