--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -99,9 +99,9 @@
 	l.changed = l.changed[:0]
 }
 
-// Grant answers a loan request. upstreams lists the upstreams of the pool that
-// may be lent, each once. find returns one upstream, or false if it is not
-// routable.
+// Grant answers a loan request, within the borrower's fair share of the slots.
+// upstreams lists the upstreams of the pool that may be lent, each once. find
+// returns one upstream, or false if it is not routable.
 func (l *Ledger[P]) Grant(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
 	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
 	if !l.Enabled() || l.Quarantined(now) {
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -87,6 +87,8 @@
 
 // The kinds of message.
 const (
+	// MessageRequest sends a LoanRequest, MessageReturn a Return and
+	// MessageRecall a Recall.
 	MessageRequest MessageKind = iota
 	MessageReturn
 	MessageRecall
--- a/core/state/place/error.go
+++ b/core/state/place/error.go
@@ -7,15 +7,16 @@
 
 // The kinds of error.
 const (
-	// KindImpossible: no worker is large enough for the task.
+	// KindImpossible means that no worker is large enough for the task.
 	KindImpossible Kind = "impossible"
-	// KindQuota: the task needs more than the whole quota of its team.
+	// KindQuota means that the task needs more than the whole quota of its
+	// team.
 	KindQuota Kind = "quota"
-	// KindNoContract: the team has no contract.
+	// KindNoContract means that the team has no contract.
 	KindNoContract Kind = "team"
-	// KindDuplicate: a task with the same name was submitted before.
+	// KindDuplicate means that a task with the same name was submitted before.
 	KindDuplicate Kind = "known"
-	// KindPlatform: the platform did not carry out an action.
+	// KindPlatform means that the platform did not carry out an action.
 	KindPlatform Kind = "platform"
 )
 
--- a/core/state/place/fit.go
+++ b/core/state/place/fit.go
@@ -60,6 +60,7 @@
 	x.bucketByWorker[id] = to
 }
 
+// remove removes a worker from the index.
 func (x *capacityIndex) remove(id WorkerID) {
 	at, ok := x.bucketByWorker[id]
 	if !ok {
--- a/core/state/place/health.go
+++ b/core/state/place/health.go
@@ -125,6 +125,7 @@
 	return e
 }
 
+// quarantineReason describes why the worker is quarantined.
 func (w *worker) quarantineReason(limit float64) string {
 	return fmt.Sprintf("%d runs failed in a row that its peers run; weight %.1f of %.1f", w.failuresInRow, w.score, limit)
 }
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -35,8 +35,8 @@
 	return plan
 }
 
-// stopCancelled tells a limited number of cancelled tasks to stop. Tasks that
-// were already told to end need no second order.
+// stopCancelled orders a limited number of cancelled tasks to stop. Tasks that
+// were already ordered to checkpoint or stop need no second order.
 func (p *Placer[F, S, J]) stopCancelled(now clock.Millis) {
 	sent := 0
 	for len(p.stops) > 0 && sent < p.settings.StopsPerPass {
@@ -67,8 +67,8 @@
 	}
 }
 
-// handleTimers processes the expired timers: leases, quarantines, trials and
-// unconfirmed orders to end.
+// handleTimers processes the expired timers: leases, quarantines, trials, and
+// orders to checkpoint or stop that were not confirmed.
 func (p *Placer[F, S, J]) handleTimers(now clock.Millis) {
 	for p.timers.Len() > 0 && p.timers.Top().at <= now {
 		expired := p.timers.Pop()
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -22,7 +22,7 @@
 	workers  map[WorkerID]*worker
 	teams    map[model.Customer]*team
 	classes  map[Class]*ClassHistory
-	// largest is the most of each resource that any worker in service has.
+	// largest is the most of each resource of any worker that is not draining.
 	largest Size
 	// free indexes the workers by free capacity. preemptible indexes them by
 	// the capacity that would be free without the tasks that urgent work may
@@ -47,7 +47,7 @@
 	// finished lists the tasks that ended, oldest first. Their names are kept
 	// for a while to reject duplicate submissions.
 	finished []TaskID
-	// stops lists the cancelled tasks that have not been told to stop yet.
+	// stops lists the cancelled tasks that have not been ordered to stop yet.
 	stops []*task
 	// out collects the actions and events for the Plan of the next pass.
 	out Plan
@@ -166,8 +166,8 @@
 	Attempt int
 }
 
-// Heartbeat records that a worker is alive, the end of the lease that it knows
-// of, and all the tasks that it runs. The next pass renews its lease.
+// Heartbeat records that a worker is alive, the lease end that it has received,
+// and all the tasks that it runs. The next pass renews its lease.
 //
 // If a task that the worker should run is missing, either its start or the
 // report of its end was lost. That is certain only when the heartbeat was sent
@@ -232,6 +232,8 @@
 	return componentMin(p.expectedSize(t), componentMin(p.teams[t.Team].contract.Quota, p.largest))
 }
 
+// fitsAnyWorker reports whether some worker that is not draining is large
+// enough.
 func (p *Placer[F, S, J]) fitsAnyWorker(need Size) bool {
 	for _, w := range p.workers {
 		if !w.Draining && need.Fits(w.Size) {
@@ -258,7 +260,7 @@
 	}
 }
 
-// orderEnd tells a running task to checkpoint or stop. The order is repeated
+// orderEnd orders a running task to checkpoint or stop. The order is repeated
 // until the end is reported or the worker's lease expires.
 func (p *Placer[F, S, J]) orderEnd(t *task, kind ActionKind, reason string) {
 	t.phase = PhaseStopping
@@ -346,6 +348,7 @@
 	p.preemptible.set(w.ID, available.Plus(w.preemptible))
 }
 
+// sortedKeys returns the keys of a map in ascending order.
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -52,8 +52,8 @@
 }
 
 // NewDeviation returns a sizer without observations.
-func NewDeviation(width float64) *Deviation {
-	return &Deviation{StdDevs: width, seen: map[Class]*moments{}}
+func NewDeviation(stdDevs float64) *Deviation {
+	return &Deviation{StdDevs: stdDevs, seen: map[Class]*moments{}}
 }
 
 // Observe updates the mean and variance of the class. From the twentieth report
@@ -80,10 +80,10 @@
 	if m == nil || m.reports < minReports {
 		return declared
 	}
-	at := func(k int) int {
+	estimate := func(k int) int {
 		return int(math.Ceil(m.mean[k] + d.StdDevs*math.Sqrt(max(0, m.meanSquare[k]-m.mean[k]*m.mean[k]))))
 	}
-	return Size{MilliCores: at(0), MemoryMiB: at(1), Accelerators: max(declared.Accelerators, m.maxAccelerators)}
+	return Size{MilliCores: estimate(0), MemoryMiB: estimate(1), Accelerators: max(declared.Accelerators, m.maxAccelerators)}
 }
 
 // Quantile reserves a high quantile of the latest reports. It assumes nothing
@@ -140,14 +140,14 @@
 
 // nth returns the value at position skip when the values are sorted in
 // descending order.
-func nth(used []Size, skip int, of func(Size) int) int {
+func nth(used []Size, skip int, value func(Size) int) int {
 	var sorted [windowReports]int
 	for k, s := range used {
-		at := k
-		for ; at > 0 && sorted[at-1] < of(s); at-- {
-			sorted[at] = sorted[at-1]
+		pos := k
+		for ; pos > 0 && sorted[pos-1] < value(s); pos-- {
+			sorted[pos] = sorted[pos-1]
 		}
-		sorted[at] = of(s)
+		sorted[pos] = value(s)
 	}
 	return sorted[skip]
 }
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -88,14 +88,15 @@
 
 // The phases of a task.
 const (
-	// PhaseWaiting: the task is not on any worker.
+	// PhaseWaiting means that the task is not on any worker.
 	PhaseWaiting Phase = iota
-	// PhaseRunning: the task was started on a worker whose lease has not
-	// expired.
+	// PhaseRunning means that the task was started on a worker whose lease has
+	// not expired.
 	PhaseRunning
-	// PhaseStopping: the task was told to checkpoint or stop and may still run.
+	// PhaseStopping means that the task was ordered to checkpoint or stop and
+	// may still run.
 	PhaseStopping
-	// PhaseFinished: the task will not run again.
+	// PhaseFinished means that the task will not run again.
 	PhaseFinished
 )
 
@@ -190,10 +191,10 @@
 const (
 	OutcomeDone Outcome = iota
 	OutcomeFailed
-	// OutcomeCheckpointed: the run stopped with its work saved.
+	// OutcomeCheckpointed means that the run stopped with its work saved.
 	OutcomeCheckpointed
-	// OutcomeStopped: the run was stopped on request, or the worker's lease
-	// expired.
+	// OutcomeStopped means that the run was stopped on request, or that the
+	// worker's lease expired.
 	OutcomeStopped
 )
 
--- a/core/state/place/team.go
+++ b/core/state/place/team.go
@@ -55,6 +55,8 @@
 	return nil
 }
 
+// push adds a waiting task to the queue, unless it is still in it, and lets the
+// team try to start tasks again.
 func (tm *team) push(t *task) {
 	tm.blocked = false
 	if !t.queued {
@@ -63,6 +65,7 @@
 	}
 }
 
+// pop removes the first task from the queue.
 func (tm *team) pop() {
 	tm.waiting.Pop().queued = false
 }
--- a/core/state/plan/counts.go
+++ b/core/state/plan/counts.go
@@ -73,6 +73,7 @@
 	rack model.Rack
 }
 
+// compare orders by pool, zone and rack.
 func (r rackKey) compare(other rackKey) int {
 	return cmp.Or(cmp.Compare(r.pool, other.pool), cmp.Compare(r.zone, other.zone), cmp.Compare(r.rack, other.rack))
 }
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -45,12 +45,12 @@
 
 // The kinds of gap.
 const (
-	// GapPromised: a pool has fewer instances than promised.
+	// GapPromised means that a pool has fewer instances than promised.
 	GapPromised GapKind = "promised"
-	// GapSpare: a spare pool has fewer instances than reserved.
+	// GapSpare means that a spare pool has fewer instances than reserved.
 	GapSpare GapKind = "spare"
-	// GapExposed: the loss of a covered failure domain would leave promised
-	// instances missing.
+	// GapExposed means that the loss of a covered failure domain would leave
+	// promised instances missing.
 	GapExposed GapKind = "exposed"
 )
 
