--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -287,7 +287,8 @@
 		}
 		return
 	}
-	// The reservation stops growing at the team's quota; the platform confines the task.
+	// The reservation stops growing at the team's quota; the platform confines
+	// the task to it.
 	tm := p.teams[t.Team]
 	available := tm.contract.Quota.Minus(tm.used).Plus(t.reserved)
 	p.resize(t, componentMax(Size{}, componentMin(componentMax(used, p.reservation(t.Task)), available)))
