--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -72,13 +72,13 @@
 // lender is the state of another process as a lender.
 type lender struct {
 	member model.Member
-	// incarnation comes from the process's last recall; 0 before. Responses of
-	// other incarnations are ignored.
+	// incarnation is the incarnation in the process's last recall; 0 before the
+	// first one. Responses of other incarnations are ignored.
 	incarnation uint64
 	// busy is set while a message awaits its result.
 	busy bool
-	// faultyUntil is the time until which no loans are requested from the
-	// process.
+	// faultyUntil is the time until which no slots are requested from the
+	// process; held loans are still renewed.
 	faultyUntil clock.Millis
 	// nextMessage is the earliest time of the next message.
 	nextMessage clock.Millis
