--- a/core/state/clock/clock.go
+++ b/core/state/clock/clock.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Millis is a point in time, in milliseconds since the Unix epoch, or a
-// duration in milliseconds.
+// Millis is either a time in milliseconds since the Unix epoch or a duration in
+// milliseconds.
 type Millis int64
 
-// Units of duration.
+// The units of duration.
 const (
 	Second Millis = 1000
 	Minute        = 60 * Second
@@ -17,17 +17,18 @@
 	Day           = 24 * Hour
 )
 
-// Duration converts a duration for use with the standard library.
+// Duration converts a duration to that of the standard library.
 func (m Millis) Duration() time.Duration {
 	return time.Duration(m) * time.Millisecond
 }
 
-// FromDuration converts a duration of the standard library, rounded down.
+// FromDuration converts a duration of the standard library. Fractions of a
+// millisecond are truncated.
 func FromDuration(d time.Duration) Millis {
 	return Millis(d / time.Millisecond)
 }
 
-// Clock reads the time and makes timers. The zero value is the machine's
+// Clock reads the time and creates timers. The zero value is the machine's
 // clock.
 type Clock struct {
 	fake *Fake
@@ -36,11 +37,11 @@
 // Real returns the machine's clock.
 func Real() Clock { return Clock{} }
 
-// start anchors the real clock: times are derived from the monotonic clock,
-// so that a step of the wall clock moves no deadline.
+// start is the time to which the real clock adds the elapsed monotonic time, so
+// that an adjustment of the wall clock does not move deadlines.
 var start = time.Now()
 
-// Now returns the current time. It never goes back within a process.
+// Now returns the current time. It never decreases within a process.
 func (c Clock) Now() Millis {
 	if c.fake != nil {
 		return c.fake.Now()
@@ -48,16 +49,17 @@
 	return Millis(start.UnixMilli()) + FromDuration(time.Since(start))
 }
 
-// Skew is the time of day less Now. It changes when the time of day is set, and
-// when the machine is suspended: Now stands still meanwhile.
+// Skew returns the wall clock time minus Now. It changes when the wall clock is
+// set and when the machine is suspended, because Now does not advance during a
+// suspension.
 func (c Clock) Skew() Millis {
 	if c.fake != nil {
-		return c.fake.skewed()
+		return c.fake.currentSkew()
 	}
 	return Millis(time.Now().UnixMilli()) - c.Now()
 }
 
-// After returns a channel that is closed once d has passed.
+// After returns a channel that is closed after d has elapsed.
 func (c Clock) After(d Millis) <-chan struct{} {
 	if c.fake != nil {
 		return c.fake.after(d)
@@ -67,7 +69,7 @@
 	return ch
 }
 
-// Fake is a clock that moves only when told to.
+// Fake is a clock for tests that advances only when Advance is called.
 type Fake struct {
 	mu     sync.Mutex
 	now    Millis
@@ -80,33 +82,34 @@
 	ch  chan struct{}
 }
 
-// NewFake returns a fake clock that stands at now.
+// NewFake returns a Fake whose current time is now.
 func NewFake(now Millis) *Fake { return &Fake{now: now} }
 
 // Clock returns a Clock that reads f.
 func (f *Fake) Clock() Clock { return Clock{fake: f} }
 
-// Now returns the time that f stands at.
+// Now returns the current time of f.
 func (f *Fake) Now() Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.now
 }
 
-// Suspend moves the time of day by d while f stands still.
+// Suspend simulates a suspension of the machine: it advances the wall clock, and
+// hence Skew, by d without advancing Now.
 func (f *Fake) Suspend(d Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.skew += d
 }
 
-func (f *Fake) skewed() Millis {
+func (f *Fake) currentSkew() Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.skew
 }
 
-// Advance moves the clock by d and fires the timers that fall due.
+// Advance advances the clock by d and fires the timers that are then due.
 func (f *Fake) Advance(d Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/state/heap/doc.go
+++ b/core/state/heap/doc.go
@@ -1,3 +1,3 @@
-// Package heap holds a generic binary heap for what falls due or waits its
-// turn.
+// Package heap provides a generic binary heap, used for timers and priority
+// queues.
 package heap
--- a/core/state/heap/heap.go
+++ b/core/state/heap/heap.go
@@ -1,16 +1,18 @@
 package heap
 
-// Ordered is the constraint on what a Heap holds.
+// Ordered is the constraint on the values of a Heap.
 type Ordered[T any] interface {
+	// Before reports whether the value must be popped before the argument.
 	Before(T) bool
 }
 
-// Heap is a binary heap; the smallest value is on top.
+// Heap is a binary heap with the smallest value, as defined by Before, at the
+// top. The zero value is an empty heap.
 type Heap[T Ordered[T]] struct {
 	items []T
 }
 
-// Len is the number of values held.
+// Len returns the number of values in the heap.
 func (h *Heap[T]) Len() int { return len(h.items) }
 
 // Top returns the smallest value; the heap must not be empty.
--- a/core/state/raft/checks_test.go
+++ b/core/state/raft/checks_test.go
@@ -1,7 +1,7 @@
 package raft
 
-// check looks at one host after each event: election safety, leader
-// completeness and a commit index that only grows.
+// check verifies election safety, leader completeness and a commit index that
+// never decreases for one host. It runs after each event.
 func (w *world) check(h *host) {
 	n := h.node
 	if n.Commit() < h.commit || n.Commit() > n.log.last() {
@@ -17,7 +17,7 @@
 	}
 	held, known := w.leaders[n.Term()]
 	if known && held != h.self.ID {
-		w.failf("term %d has the leaders %d and %d", n.Term(), held, h.self.ID)
+		w.failf("term %d has two leaders, %d and %d", n.Term(), held, h.self.ID)
 	}
 	if !known {
 		w.leaders[n.Term()] = h.self.ID
@@ -25,27 +25,27 @@
 	}
 }
 
-// checkCommit looks at a commit index that a leader has just moved: the entry
-// is of its own term, on the disks of a quorum, and at most one membership
-// change is not committed. Lost disks count as holding it, since they may have
-// acknowledged it before.
+// checkCommit verifies a commit index that a leader has just raised: the entry
+// must be of the leader's term and on the disks of a quorum, and at most one
+// membership change may be uncommitted. Lost disks count as having the entry,
+// because they may have acknowledged it before they were lost.
 func (w *world) checkCommit(n *Node) {
 	if n.termAt(n.commit) != n.term {
 		w.failf("leader %d of term %d committed entry %d of term %d", n.self, n.term, n.commit, n.termAt(n.commit))
 	}
-	if !n.quorum(func(id MemberID) bool {
+	if !n.hasQuorum(func(id MemberID) bool {
 		h := w.byID(id)
 		return h == nil || h.disk.last() >= n.commit
 	}) {
 		w.failf("leader %d committed entry %d without a quorum of disks", n.self, n.commit)
 	}
-	if k := len(n.lists); k > 1 && n.lists[k-2].index > n.commit {
-		w.failf("leader %d has two membership changes under way", n.self)
+	if k := len(n.memberLists); k > 1 && n.memberLists[k-2].index > n.commit {
+		w.failf("leader %d has two uncommitted membership changes", n.self)
 	}
 }
 
-// checkHard fails when a hard state counts an entry as committed that a crash
-// during its write could lose or leave with old content.
+// checkHard fails if a hard state to be written has a commit index whose entry a
+// crash during the write could lose or leave with its old content.
 func (w *world) checkHard(h *host, hard *HardState) {
 	if hard == nil || hard.Commit <= h.disk.snap.Index {
 		return
@@ -56,12 +56,12 @@
 	}
 	t, ok := h.node.log.term(hard.Commit)
 	if ok && h.disk.entries[hard.Commit-h.disk.snap.Index-1].Term != t {
-		w.failf("host %d writes commit %d before the entry", h.self.ID, hard.Commit)
+		w.failf("host %d writes commit %d before that entry is on disk", h.self.ID, hard.Commit)
 	}
 }
 
-// checkComplete fails when a new leader lacks an entry that was committed in
-// an earlier term.
+// checkComplete fails if a new leader does not have an entry that was committed
+// in an earlier term.
 func (w *world) checkComplete(n *Node) {
 	for _, e := range w.committed {
 		t, ok := n.log.term(e.Index)
@@ -72,7 +72,8 @@
 	}
 }
 
-// checkSynced fails when a promise leaves before what it promises is on disk.
+// checkSynced fails if a message is sent before the term, entries or vote that it
+// reports are on disk.
 func (w *world) checkSynced(h *host, m Message) {
 	switch {
 	case m.Term > h.disk.hard.Term && m.Kind != MsgPreVote && m.Kind != MsgPreVoteReply:
@@ -84,7 +85,8 @@
 	}
 }
 
-// checkLogs fails when two logs agree at an index and differ below it.
+// checkLogs fails if two logs have the same entry at an index and differ below
+// it (the log matching property).
 func (w *world) checkLogs() {
 	for i, a := range w.hosts {
 		for _, b := range w.hosts[:i] {
@@ -103,14 +105,14 @@
 			same = true
 		}
 		if same && (x.Term != y.Term || string(x.Data) != string(y.Data) || x.Kind != y.Kind) {
-			w.failf("logs agree above index %d and differ at it", i)
+			w.failf("two logs agree above index %d and differ at that index", i)
 			return
 		}
 	}
 }
 
-// converged reports whether the wanted hosts are the voters and all hold the
-// same state.
+// converged reports whether the voters are exactly the wanted hosts and all of
+// them have applied the same entries and have the same value.
 func (w *world) converged() bool {
 	l := w.leader()
 	if l == nil || l.node.MembersPending() || l.applied != l.node.log.last() {
--- a/core/state/raft/doc.go
+++ b/core/state/raft/doc.go
@@ -1,5 +1,6 @@
-// Package raft is the consensus of the control group as a pure state machine:
-// messages, clock values and stored state go in; messages, writes and
-// committed entries come out. It reads no clock, opens no file and sends
-// nothing, so that tests can drive any schedule.
+// Package raft implements the Raft consensus algorithm of the control group as
+// a deterministic state machine. Its inputs are messages, clock values and
+// stored state; its outputs are messages, log writes and committed entries. It
+// performs no I/O and reads no clock, so that tests can run any schedule of
+// events.
 package raft
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -2,56 +2,59 @@
 
 import "camphorridge/core/state/clock"
 
-// resetElection draws the next election timeout.
-func (n *Node) resetElection() {
+// resetElectionTimer sets the next election deadline to a random timeout
+// between one and two election timeouts from now.
+func (n *Node) resetElectionTimer() {
 	t := n.cfg.ElectionTimeout
-	n.electionDue = n.now + t + clock.Millis(n.random.Int64N(int64(t)))
+	n.electionDeadline = n.now + t + clock.Millis(n.random.Int64N(int64(t)))
 }
 
-// becomeFollower enters a term without a role in it. leader is 0 when it is
-// not known. Reads that wait for a confirmation are dropped.
+// becomeFollower makes the member a follower in the given term. leader is 0
+// when it is not known. Pending reads are dropped.
 func (n *Node) becomeFollower(term uint64, leader MemberID) {
 	if term > n.term {
 		n.term = term
 		n.vote = 0
 	}
 	n.role = RoleFollower
-	n.pre = false
+	n.preVote = false
 	n.leader = leader
-	n.votes, n.peers, n.reads = nil, nil, nil
-	n.roundWanted = false
-	n.resetElection()
+	n.votes, n.peers, n.pendingReads = nil, nil, nil
+	n.roundRequested = false
+	n.resetElectionTimer()
 }
 
-// follow notes a message from the leader of the term.
-func (n *Node) follow(leader MemberID) {
+// recordLeaderContact follows the leader of the current term and restarts the
+// election timer. It is called for each message from that leader.
+func (n *Node) recordLeaderContact(leader MemberID) {
 	if n.role != RoleFollower || n.leader != leader {
 		n.becomeFollower(n.term, leader)
 	}
-	n.heard = n.now
-	n.resetElection()
+	n.lastLeaderContact = n.now
+	n.resetElectionTimer()
 }
 
-// inLease reports whether a leader was heard within the smallest election
-// timeout. A member that was cut off or removed cannot depose that leader.
-func (n *Node) inLease() bool {
+// inLeaderLease reports whether this member leads or received a message from a
+// leader within the minimum election timeout. It then ignores vote requests, so
+// that a member that was partitioned or removed cannot depose the leader.
+func (n *Node) inLeaderLease() bool {
 	if n.role == RoleLeader {
 		return true
 	}
-	return n.leader != 0 && n.now-n.heard < n.cfg.ElectionTimeout
+	return n.leader != 0 && n.now-n.lastLeaderContact < n.cfg.ElectionTimeout
 }
 
-// campaign asks the voters for their pre-vote or, once a quorum gave it, for
-// their vote in a new term.
+// campaign requests pre-votes from the voters or, once a quorum has granted
+// them, votes in a new term.
 func (n *Node) campaign(pre bool) {
 	kind, term := MsgPreVote, n.term+1
-	n.role, n.pre, n.leader = RoleCandidate, pre, 0
+	n.role, n.preVote, n.leader = RoleCandidate, pre, 0
 	if !pre {
 		kind = MsgVote
 		n.term = term
 		n.vote = n.self
 	}
-	n.resetElection()
+	n.resetElectionTimer()
 	n.votes = map[MemberID]bool{n.self: true}
 	for _, m := range n.Members() {
 		if m.Voter && m.ID != n.self {
@@ -61,18 +64,19 @@
 	n.countVotes()
 }
 
-// mayVote reports whether this member may vote for the candidate. A candidate
-// asks only those that its own member list calls voters, so that a member that
-// has not seen its promotion yet may still elect the leader that promoted it.
-// A member that has not been added, such as one with an empty disk, is not in
-// its own list and never votes.
-func (n *Node) mayVote(m Message) bool {
-	listed, _ := n.belongs()
+// canVoteFor reports whether this member may vote for the sender of m. It need
+// not be a voter in its own member list: a candidate requests votes only from
+// the voters in the candidate's list, and a member that has not yet received
+// its promotion must be able to elect the leader that promoted it. A member
+// that has not been added to the group, such as one with an empty disk, is not
+// in its own list and never votes.
+func (n *Node) canVoteFor(m Message) bool {
+	listed, _ := n.membership()
 	return listed && n.log.upToDate(m.Index, m.LogTerm)
 }
 
 func (n *Node) onPreVote(m Message) {
-	granted := m.Term > n.term && !n.inLease() && n.mayVote(m)
+	granted := m.Term > n.term && !n.inLeaderLease() && n.canVoteFor(m)
 	term := n.term
 	if granted {
 		term = m.Term
@@ -82,19 +86,19 @@
 
 func (n *Node) onVote(m Message) {
 	free := n.vote == m.From || (n.vote == 0 && n.leader == 0)
-	granted := free && n.role == RoleFollower && n.mayVote(m)
+	granted := free && n.role == RoleFollower && n.canVoteFor(m)
 	if granted {
 		n.vote = m.From
-		n.resetElection()
+		n.resetElectionTimer()
 	}
 	n.send(Message{Kind: MsgVoteReply, To: m.From, Term: n.term, Reject: !granted})
 }
 
-// onVoteReply counts a grant. A pre-vote is granted for the term after the
-// current one, a vote for the current one.
+// onVoteReply counts a granted vote or pre-vote. A pre-vote is granted for the
+// term after the current one, a vote for the current one.
 func (n *Node) onVoteReply(m Message) {
 	pre := m.Kind == MsgPreVoteReply
-	if n.role != RoleCandidate || n.pre != pre || m.Reject {
+	if n.role != RoleCandidate || n.preVote != pre || m.Reject {
 		return
 	}
 	if (pre && m.Term != n.term+1) || (!pre && m.Term != n.term) {
@@ -105,31 +109,32 @@
 }
 
 func (n *Node) countVotes() {
-	if !n.quorum(func(id MemberID) bool { return n.votes[id] }) {
+	if !n.hasQuorum(func(id MemberID) bool { return n.votes[id] }) {
 		return
 	}
-	if n.pre {
+	if n.preVote {
 		n.campaign(false)
 		return
 	}
 	n.becomeLeader()
 }
 
-// becomeLeader starts the term with an empty entry: older entries are
-// committed, and reads answered, only once it is.
+// becomeLeader makes the member the leader and appends a no-op entry. Entries of
+// earlier terms are committed, and reads are answered, only once the no-op entry
+// is committed.
 func (n *Node) becomeLeader() {
 	n.role = RoleLeader
 	n.leader = n.self
-	n.votes, n.reads = nil, nil
-	n.round = 0
+	n.votes, n.pendingReads = nil, nil
+	n.heartbeatRound = 0
 	n.peers = map[MemberID]*progress{}
-	n.appendOwn(Entry{Kind: EntryNoOp})
+	n.appendAsLeader(Entry{Kind: EntryNoOp})
 	n.syncPeers()
 	n.broadcastHeartbeat()
 }
 
-// quorum reports whether a majority of the voters satisfies f.
-func (n *Node) quorum(f func(MemberID) bool) bool {
+// hasQuorum reports whether f holds for a majority of the voters.
+func (n *Node) hasQuorum(f func(MemberID) bool) bool {
 	voters, yes := 0, 0
 	for _, m := range n.Members() {
 		if !m.Voter {
@@ -143,11 +148,12 @@
 	return yes > voters/2
 }
 
-// recent reports whether a member was heard within an election timeout.
-func (n *Node) recent(id MemberID) bool {
+// recentlyActive reports whether a message from the member was received within
+// the election timeout.
+func (n *Node) recentlyActive(id MemberID) bool {
 	if id == n.self {
 		return true
 	}
 	p := n.peers[id]
-	return p != nil && n.now-p.heard <= n.cfg.ElectionTimeout
+	return p != nil && n.now-p.lastContact <= n.cfg.ElectionTimeout
 }
--- a/core/state/raft/errors.go
+++ b/core/state/raft/errors.go
@@ -2,23 +2,24 @@
 
 import "fmt"
 
-// Kind tells errors apart.
+// Kind classifies an Error.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindNotLeader: only the leader can do this.
+	// KindNotLeader means that only the leader can perform the operation.
 	KindNotLeader Kind = iota
-	// KindPending: another membership change has not been committed yet, or
-	// the leader has not committed an entry of its own term.
+	// KindPending means that the operation may be retried later: another
+	// membership change is not committed, the leader has not committed an entry
+	// of its own term, or the member to promote has not caught up.
 	KindPending
-	// KindInvalid: the request contradicts the state of the group.
+	// KindInvalid means that the request contradicts the state of the group.
 	KindInvalid
 )
 
 var kindNames = [...]string{"not-leader", "pending", "invalid"}
 
-// String returns the name used in reports.
+// String returns the name of the kind as used in reports.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "unknown"
@@ -33,7 +34,7 @@
 	Err  error
 }
 
-// Error returns the operation, the kind and the cause.
+// Error formats the operation, the kind and the cause.
 func (e *Error) Error() string { return fmt.Sprintf("raft %s: %s: %v", e.Op, e.Kind, e.Err) }
 
 // Unwrap returns the cause.
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -1,21 +1,24 @@
 package raft
 
-// entryOverhead is counted for each entry on top of its data when a message is
-// bounded: index, term, kind and framing.
+// entryOverhead is the size in bytes that each entry adds to a message beyond
+// its data: index, term, kind and framing.
 const entryOverhead = 32
 
-// entryLog holds the entries that follow on a base. Slices that it hands out
-// are never overwritten: truncate cuts the capacity, so that the next append
-// copies.
+// entryLog holds the log entries after a base index. The slices that it returns
+// are never overwritten: truncate reduces the capacity, so that the next append
+// copies the entries.
 type entryLog struct {
-	// base and baseTerm are those of the entry before entries[0].
+	// base and baseTerm are the index and the term of the entry before
+	// entries[0].
 	base     uint64
 	baseTerm uint64
 	entries  []Entry
-	// unsaved is the first index that no output has carried; at most last+1.
-	unsaved uint64
-	// stable is the last index that the caller has synced; below unsaved.
-	stable uint64
+	// firstUnsaved is the first index that no Output has contained; at most
+	// last+1.
+	firstUnsaved uint64
+	// lastStable is the last index that the caller has synced; below
+	// firstUnsaved.
+	lastStable uint64
 }
 
 func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
@@ -25,7 +28,7 @@
 	return t
 }
 
-// term returns the term of an index; ok is false for an index that was
+// term returns the term of the entry at index i. ok is false if the entry was
 // compacted or does not exist.
 func (l *entryLog) term(i uint64) (t uint64, ok bool) {
 	switch {
@@ -37,8 +40,8 @@
 	return l.entries[i-l.base-1].Term, true
 }
 
-// slice returns the entries from and to, both included; from is above the
-// base.
+// slice returns the entries from index from to index to, both included. from
+// must be above the base.
 func (l *entryLog) slice(from, to uint64) []Entry {
 	if from > to {
 		return nil
@@ -46,13 +49,14 @@
 	return l.entries[from-l.base-1 : to-l.base : to-l.base]
 }
 
-// bounded returns entries from an index on that hold at most the given bytes,
-// and one entry even when it is larger.
-func (l *entryLog) bounded(from uint64, bytes int) []Entry {
+// sliceMaxBytes returns entries starting at index from whose total size is at
+// most maxBytes. It returns at least one entry, if there is one, even when it
+// is larger.
+func (l *entryLog) sliceMaxBytes(from uint64, maxBytes int) []Entry {
 	size, to := 0, from-1
 	for to < l.last() {
 		size += len(l.entries[to-l.base].Data) + entryOverhead
-		if size > bytes && to >= from {
+		if size > maxBytes && to >= from {
 			break
 		}
 		to++
@@ -62,18 +66,18 @@
 
 func (l *entryLog) add(es ...Entry) { l.entries = append(l.entries, es...) }
 
-// truncate drops the entries from an index on.
+// truncate removes the entries with an index of from or higher.
 func (l *entryLog) truncate(from uint64) {
 	if from > l.last() {
 		return
 	}
 	keep := from - l.base - 1
 	l.entries = l.entries[:keep:keep]
-	l.unsaved = min(l.unsaved, from)
-	l.stable = min(l.stable, from-1)
+	l.firstUnsaved = min(l.firstUnsaved, from)
+	l.lastStable = min(l.lastStable, from-1)
 }
 
-// compact moves the base up to an index and frees the entries before it.
+// compact moves the base up to index and frees the entries up to it.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.base {
 		return
@@ -83,21 +87,23 @@
 	l.base = index
 }
 
-// reset empties the log behind an installed snapshot.
+// reset empties the log and sets its base to the last entry of an installed
+// snapshot.
 func (l *entryLog) reset(index, term uint64) {
-	*l = entryLog{base: index, baseTerm: term, unsaved: index + 1, stable: index}
+	*l = entryLog{base: index, baseTerm: term, firstUnsaved: index + 1, lastStable: index}
 }
 
-// upToDate reports whether a log that ends with the given entry holds every
-// entry that this log may have committed.
+// upToDate reports whether a log whose last entry has the given index and term
+// is at least as up to date as this log, and hence holds every entry that may
+// be committed in this log.
 func (l *entryLog) upToDate(index, term uint64) bool {
 	return term > l.lastTerm() || (term == l.lastTerm() && index >= l.last())
 }
 
-// agree returns the largest index at or below the given one whose term is at
-// most the given term. Two logs cannot agree above it, so that one exchange
-// skips a whole term of conflicting entries.
-func (l *entryLog) agree(index, term uint64) (uint64, uint64) {
+// findConflictByTerm returns the largest index at or below index whose entry has
+// at most the given term, and the term of that entry. Two logs cannot agree above
+// it, so that one exchange of messages skips a whole term of conflicting entries.
+func (l *entryLog) findConflictByTerm(index, term uint64) (uint64, uint64) {
 	for i := min(index, l.last()); ; i-- {
 		t, ok := l.term(i)
 		if !ok || t <= term || i == 0 {
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -6,96 +6,101 @@
 	"camphorridge/core/state/clock"
 )
 
-// Node is one member's part in the consensus. It is not safe for concurrent
-// use: one duty owns it.
+// Node is the Raft state machine of one member. It is not safe for concurrent
+// use.
 type Node struct {
 	cfg    Config
 	self   MemberID
 	random *rand.Rand
-	// now is the largest time that a call has passed; it never goes back.
+	// now is the largest time passed to any call; it never decreases.
 	now clock.Millis
 
 	term uint64
 	vote MemberID
 	role Role
-	// pre is set while a candidate asks for pre-votes and has not raised its
-	// term.
-	pre    bool
-	leader MemberID
-	votes  map[MemberID]bool
-	// heard is the time of the last message from the leader of the term.
-	heard        clock.Millis
-	electionDue  clock.Millis
-	heartbeatDue clock.Millis
+	// preVote is set while a candidate requests pre-votes and has not yet
+	// incremented its term.
+	preVote bool
+	leader  MemberID
+	votes   map[MemberID]bool
+	// lastLeaderContact is the time of the last message from the leader of the
+	// current term.
+	lastLeaderContact clock.Millis
+	electionDeadline  clock.Millis
+	nextHeartbeat     clock.Millis
 
 	log entryLog
-	// commit only grows; applied follows it and counts what outputs carried.
+	// commit never decreases. applied is the index of the last committed entry
+	// that an Output has contained.
 	commit  uint64
 	applied uint64
-	// snapIndex is the index of the latest snapshot; at most applied.
-	snapIndex uint64
-	// lists holds the member lists in ascending order of index; the last is in
-	// force, whether committed or not.
-	lists []memberList
+	// snapshotIndex is the index of the latest snapshot; at most applied.
+	snapshotIndex uint64
+	// memberLists holds the member lists in ascending order of index. The last
+	// one is in effect, whether committed or not.
+	memberLists []memberList
 
-	// peers is set on the leader, for every other member in force.
+	// peers is set on the leader and has an item for every other current member.
 	peers map[MemberID]*progress
-	// round numbers the heartbeats that confirm reads; it only grows within a
-	// term of leadership.
-	round       uint64
-	roundWanted bool
-	reads       []waitingRead
-	incoming    incoming
+	// heartbeatRound is the number of the last heartbeat round that confirms
+	// reads; it never decreases while the member leads.
+	heartbeatRound uint64
+	roundRequested bool
+	pendingReads   []pendingRead
+	incoming       incomingSnapshot
 
-	messages    []Message
-	ready       []ReadReady
-	want        []MemberID
-	install     *SnapshotMeta
-	installData []byte
-	// handed is the hard state that the last output carried.
-	handed HardState
-	// writing is true from an output until Persisted.
-	writing bool
+	messages     []Message
+	readyReads   []ReadReady
+	needSnapshot []MemberID
+	install      *SnapshotMeta
+	installData  []byte
+	// lastOutputHard is the hard state of the last Output that contained one;
+	// initially the stored one.
+	lastOutputHard HardState
+	// awaitingPersisted is true from a non-empty Output until Persisted is
+	// called.
+	awaitingPersisted bool
 }
 
-// New returns a member with the state found on its disk. Stored.Snapshot holds
-// the first member list of a new group at index 0; it is empty for a member
-// that waits to be added.
+// New returns a Node with the state loaded from the member's disk. For a member
+// of a new group, stored.Snapshot holds the initial member list at index 0; for a
+// member that has yet to be added to a group, the list is empty. Config values
+// that are too small are raised, and HeartbeatInterval is capped.
 func New(cfg Config, stored StoredState, now clock.Millis) *Node {
 	cfg.ElectionTimeout = max(cfg.ElectionTimeout, 3)
 	cfg.HeartbeatInterval = min(max(cfg.HeartbeatInterval, 1), cfg.ElectionTimeout/3)
 	cfg.MaxAppendBytes = max(cfg.MaxAppendBytes, 1)
 	cfg.ChunkBytes = max(cfg.ChunkBytes, 1)
 	n := &Node{
-		cfg:       cfg,
-		self:      stored.Self.ID,
-		random:    rand.New(rand.NewPCG(cfg.Seed, uint64(stored.Self.ID))),
-		now:       now,
-		term:      stored.Hard.Term,
-		vote:      stored.Hard.Vote,
-		handed:    stored.Hard,
-		applied:   stored.Snapshot.Index,
-		snapIndex: stored.Snapshot.Index,
-		lists:     []memberList{{index: stored.Snapshot.Index, members: stored.Snapshot.Members}},
+		cfg:            cfg,
+		self:           stored.Self.ID,
+		random:         rand.New(rand.NewPCG(cfg.Seed, uint64(stored.Self.ID))),
+		now:            now,
+		term:           stored.Hard.Term,
+		vote:           stored.Hard.Vote,
+		lastOutputHard: stored.Hard,
+		applied:        stored.Snapshot.Index,
+		snapshotIndex:  stored.Snapshot.Index,
+		memberLists:    []memberList{{index: stored.Snapshot.Index, members: stored.Snapshot.Members}},
 	}
 	n.log.reset(stored.Snapshot.Index, stored.Snapshot.Term)
-	n.addEntries(stored.Entries)
-	n.log.unsaved = n.log.last() + 1
-	n.log.stable = n.log.last()
+	n.appendEntries(stored.Entries)
+	n.log.firstUnsaved = n.log.last() + 1
+	n.log.lastStable = n.log.last()
 	n.commit = min(max(stored.Hard.Commit, stored.Snapshot.Index), n.log.last())
-	// A crash may have kept entries of a term and lost the hard state that was
-	// written with them; no vote of that term has left this member.
+	// A crash may have preserved entries of a term but not the hard state that
+	// was written with them. No vote of that term has been sent by this member.
 	if t := n.log.lastTerm(); t > n.term {
 		n.term, n.vote = t, 0
 	}
-	n.resetElection()
+	n.resetElectionTimer()
 	return n
 }
 
-// Leader returns the leader of the term, or 0 when it is not known.
+// Leader returns the leader of the current term, or 0 if it is not known.
 func (n *Node) Leader() MemberID { return n.leader }
 
-// Role returns what this member does in its term.
+// Role returns the role of this member in the current term.
 func (n *Node) Role() Role { return n.role }
 
 // Term returns the current term.
@@ -104,94 +109,98 @@
 // Commit returns the index of the last entry known to be committed.
 func (n *Node) Commit() uint64 { return n.commit }
 
-// Self returns this member's identity.
+// Self returns the ID of this member.
 func (n *Node) Self() MemberID { return n.self }
 
-// Tick tells the time. The caller calls it at least once in each heartbeat
-// interval.
+// Tick advances the time and handles election and heartbeat timeouts. It must be
+// called at least once per heartbeat interval.
 func (n *Node) Tick(now clock.Millis) {
-	n.advance(now)
+	n.advanceClock(now)
 	if n.role == RoleLeader {
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.electionDue {
-		n.resetElection()
+	if n.now >= n.electionDeadline {
+		n.resetElectionTimer()
 		n.leader = 0
-		if _, voter := n.belongs(); voter {
+		if _, voter := n.membership(); voter {
 			n.campaign(true)
 		}
 	}
 }
 
-// tickLeader steps down when no quorum was heard within an election timeout,
-// and sends heartbeats.
+// tickLeader steps down if no quorum has been active within the election
+// timeout, and otherwise sends heartbeats when they are due.
 func (n *Node) tickLeader() {
-	if !n.quorum(n.recent) {
+	if !n.hasQuorum(n.recentlyActive) {
 		n.becomeFollower(n.term, 0)
 		return
 	}
-	if n.now >= n.heartbeatDue {
+	if n.now >= n.nextHeartbeat {
 		n.broadcastHeartbeat()
 	}
 }
 
-// StepDown gives up leadership or a candidacy without a change of term, for a
-// member whose disk fails.
+// StepDown makes a leader or candidate a follower without changing the term. It
+// is for a member whose disk fails.
 func (n *Node) StepDown() {
 	if n.role != RoleFollower {
 		n.becomeFollower(n.term, 0)
 	}
 }
 
-// Propose appends an entry on the leader and returns its place in the log. It
-// is committed only when an output says so. The error is of kind not-leader.
+// Propose appends an entry on the leader and returns its index and term. The
+// entry is committed only when an Output lists it in Committed. The error has
+// KindNotLeader.
 func (n *Node) Propose(data []byte, now clock.Millis) (index, term uint64, err error) {
-	n.advance(now)
+	n.advanceClock(now)
 	if n.role != RoleLeader {
-		return 0, 0, failf("propose", KindNotLeader, "member %x is a %s", n.self, n.role)
+		return 0, 0, failf("propose", KindNotLeader, "member %x is a %s, not the leader", n.self, n.role)
 	}
-	return n.appendOwn(Entry{Kind: EntryChange, Data: data}), n.term, nil
+	return n.appendAsLeader(Entry{Kind: EntryChange, Data: data}), n.term, nil
 }
 
-// appendOwn appends an entry of the leader's own term.
-func (n *Node) appendOwn(e Entry) uint64 {
+// appendAsLeader assigns the next index and the current term to an entry, appends
+// it to the log and returns its index.
+func (n *Node) appendAsLeader(e Entry) uint64 {
 	e.Index = n.log.last() + 1
 	e.Term = n.term
-	n.addEntries([]Entry{e})
+	n.appendEntries([]Entry{e})
 	return e.Index
 }
 
-// addEntries appends to the log and keeps the member lists in step.
-func (n *Node) addEntries(es []Entry) {
+// appendEntries appends entries to the log and records the member lists that
+// they contain.
+func (n *Node) appendEntries(es []Entry) {
 	n.log.add(es...)
 	for _, e := range es {
 		if e.Kind == EntryMembers {
-			n.lists = append(n.lists, memberList{index: e.Index, members: e.Members})
+			n.memberLists = append(n.memberLists, memberList{index: e.Index, members: e.Members})
 		}
 	}
 }
 
-// Step takes a message from another member. The error is of kind invalid when
-// the message contradicts committed entries; the message is then dropped.
+// Step handles a message from another member. The error has KindInvalid when the
+// message contradicts committed entries or names a second leader of the term;
+// the message is then dropped.
 func (n *Node) Step(m Message, now clock.Millis) error {
-	n.advance(now)
+	n.advanceClock(now)
 	if m.To != n.self || m.From == n.self || m.From == 0 {
 		return nil
 	}
-	if m.Term > n.term && !n.takeTerm(m) {
+	if m.Term > n.term && !n.adoptTerm(m) {
 		return nil
 	}
 	if m.Term < n.term {
-		n.answerStale(m)
+		n.rejectStale(m)
 		return nil
 	}
 	return n.dispatch(m)
 }
 
-// takeTerm adopts the higher term of a message where the message proves that
-// the term began. It reports false for a message to be dropped.
-func (n *Node) takeTerm(m Message) bool {
+// adoptTerm adopts the higher term of a message, if the message proves that the
+// term has started. It returns false if the message must be dropped.
+func (n *Node) adoptTerm(m Message) bool {
 	switch m.Kind {
 	case MsgPreVote:
 		return true
@@ -200,7 +209,7 @@
 			return true
 		}
 	case MsgVote:
-		if n.inLease() {
+		if n.inLeaderLease() {
 			return false
 		}
 	case MsgAppend, MsgHeartbeat, MsgSnapshot:
@@ -211,10 +220,10 @@
 	return true
 }
 
-// answerStale answers a message of an earlier term, so that its sender learns
-// of the current one. Without the answer to a leader, a member that raised its
+// rejectStale replies to a message of an earlier term, so that its sender adopts
+// the current term. Without the reply to a leader, a member that incremented its
 // term alone would ignore the leader forever.
-func (n *Node) answerStale(m Message) {
+func (n *Node) rejectStale(m Message) {
 	switch m.Kind {
 	case MsgPreVote:
 		n.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: n.term, Reject: true})
@@ -235,28 +244,29 @@
 		n.onVoteReply(m)
 	case MsgAppend, MsgHeartbeat, MsgSnapshot:
 		if n.role == RoleLeader {
-			return failf("step", KindInvalid, "member %x claims to lead term %d as well", m.From, m.Term)
+			return failf("step", KindInvalid, "member %x also claims to be the leader of term %d", m.From, m.Term)
 		}
-		n.follow(m.From)
-		return n.onLeader(m)
+		n.recordLeaderContact(m.From)
+		return n.onLeaderMessage(m)
 	default:
 		if p := n.peers[m.From]; n.role == RoleLeader && p != nil {
-			p.heard = n.now
+			p.lastContact = n.now
 			n.onReply(m, p)
 		}
 	}
 	return nil
 }
 
-// onLeader handles the messages of the leader of the term.
-func (n *Node) onLeader(m Message) error {
+// onLeaderMessage handles a message from the leader of the current term.
+func (n *Node) onLeaderMessage(m Message) error {
 	switch {
 	case m.Kind == MsgHeartbeat:
 		n.commitTo(min(m.Commit, n.log.last()))
 		n.send(Message{Kind: MsgHeartbeatReply, To: m.From, Term: n.term, Context: m.Context})
 	case n.install != nil:
-		// Until the snapshot was handed out, entries that follow on it would
-		// be written before it and lost; the leader sends them again.
+		// Entries after a received snapshot must not be accepted until an
+		// Output has contained the snapshot: they would be written before it
+		// and lost. The leader sends them again.
 	case m.Kind == MsgAppend:
 		return n.onAppend(m)
 	default:
@@ -281,6 +291,6 @@
 	n.messages = append(n.messages, m)
 }
 
-func (n *Node) advance(now clock.Millis) { n.now = max(n.now, now) }
+func (n *Node) advanceClock(now clock.Millis) { n.now = max(n.now, now) }
 
 func (n *Node) commitTo(index uint64) { n.commit = max(n.commit, index) }
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -9,8 +9,9 @@
 	"camphorridge/core/state/clock"
 )
 
-// settled returns a world of three voters with a leader and some writes.
-func settled(t *testing.T, seed uint64) (*world, *host) {
+// newConverged returns a world of three voters that have applied five writes, and
+// the leader.
+func newConverged(t *testing.T, seed uint64) (*world, *host) {
 	t.Helper()
 	w := newWorld(seed, 3, 3)
 	w.until(t, func() bool { return w.leader() != nil })
@@ -31,27 +32,27 @@
 	}
 }
 
-func (w *world) pass(d clock.Millis) {
+func (w *world) advance(d clock.Millis) {
 	for end := w.now + d; w.now < end; {
 		w.run(5)
 	}
 }
 
-// TestIsolatedMember guards against a member that raises its term while it is
-// cut off and deposes the leader when it returns.
+// TestIsolatedMember guards against a member that increments its term while it
+// is partitioned and deposes the leader when it reconnects.
 func TestIsolatedMember(t *testing.T) {
 	for seed := range uint64(50) {
-		w, l := settled(t, seed)
+		w, l := newConverged(t, seed)
 		term := l.node.Term()
 		cut := w.hosts[0]
 		if cut == l {
 			cut = w.hosts[1]
 		}
-		cut.side = 1
-		w.pass(60_000)
+		cut.partition = 1
+		w.advance(60_000)
 		assert.Equal(t, cut.node.Term(), term)
-		cut.side = 0
-		w.pass(2000)
+		cut.partition = 0
+		w.advance(2000)
 		assert.Equal(t, w.leader(), l)
 		for _, h := range w.hosts {
 			assert.Equal(t, h.node.Term(), term)
@@ -61,36 +62,37 @@
 	}
 }
 
-// TestStaleLeaderRead guards against a leader that was frozen while another
-// took over and answers a read from its old state, and against one that is cut
-// off and never steps down.
+// TestStaleLeaderRead guards against a leader that was paused while another one
+// was elected and then answers a read from its stale state, and against a
+// partitioned leader that never steps down.
 func TestStaleLeaderRead(t *testing.T) {
 	for seed := range uint64(50) {
-		w, old := settled(t, seed)
+		w, old := newConverged(t, seed)
 		old.frozen = true
 		w.until(t, func() bool { return w.leader() != old })
 		w.submit(w.leader(), request{kind: opWrite, new: 99})
-		w.pass(100)
+		w.advance(100)
 		w.submit(old, request{kind: opRead})
 		read := len(w.history) - 1
-		w.pass(500)
+		w.advance(500)
 		assert.Equal(t, w.history[read].Return, forever)
-		assert.Assert(t, w.linear())
+		assert.Assert(t, w.linearizable())
 
 		w.until(t, w.converged)
 		l := w.leader()
-		l.side = 1
-		w.pass(2 * w.cfg.ElectionTimeout)
+		l.partition = 1
+		w.advance(2 * w.cfg.ElectionTimeout)
 		assert.Equal(t, l.node.Role(), RoleFollower)
 		assert.Assert(t, l.node.ReadIndex(1, w.now) != nil)
 	}
 }
 
-// TestSecondLoss guards against the loss of acknowledged writes, or of the
-// quorum, when another disk is lost right after the first was repaired.
+// TestSecondLoss guards against the loss of acknowledged writes or of the quorum
+// when another disk is lost directly after the group has recovered from the loss
+// of the first.
 func TestSecondLoss(t *testing.T) {
 	for seed := range uint64(50) {
-		w, _ := settled(t, seed)
+		w, _ := newConverged(t, seed)
 		for i, h := range w.hosts {
 			w.wipe(h)
 			w.until(t, func() bool {
@@ -106,8 +108,8 @@
 	}
 }
 
-// TestNewIdentity guards against a vote or a campaign of a member with an
-// empty disk.
+// TestNewIdentity guards against a member with an empty disk that votes or
+// campaigns.
 func TestNewIdentity(t *testing.T) {
 	cfg := Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 100, ChunkBytes: 10}
 	n := New(cfg, StoredState{Self: Member{ID: 9}}, 0)
@@ -127,7 +129,7 @@
 }
 
 // TestCommitWithinMatch guards against a follower that commits its own
-// conflicting entries because the leader's commit index is beyond the entries
+// conflicting entries because the leader's commit index is above the last entry
 // of the append.
 func TestCommitWithinMatch(t *testing.T) {
 	n := New(Config{}, StoredState{
@@ -139,8 +141,9 @@
 	assert.Equal(t, n.Commit(), uint64(1))
 }
 
-// TestAppendAfterInstall guards against entries that are written in the same
-// output as a snapshot, which replaces the log and would lose them.
+// TestAppendAfterInstall guards against an output that contains both a snapshot
+// and entries after it: the snapshot replaces the log, so the entries would be
+// lost.
 func TestAppendAfterInstall(t *testing.T) {
 	n := New(Config{}, StoredState{Self: Member{ID: 2}}, 0)
 	meta := SnapshotMeta{Index: 7, Term: 1}
@@ -150,7 +153,7 @@
 	out := n.Output()
 	assert.Assert(t, out.Install != nil)
 	assert.Equal(t, len(out.Append), 0)
-	assert.Equal(t, out.Hard.Commit, uint64(0), "a crash before the installation would commit what the old log holds")
+	assert.Equal(t, out.Hard.Commit, uint64(0), "a crash before the installation would commit entries of the old log")
 	assert.Equal(t, len(out.Messages), 1)
 	n.Persisted()
 	assert.NilError(t, n.Step(next, 1))
@@ -158,14 +161,14 @@
 	assert.Equal(t, len(out.Append), 1)
 }
 
-// TestRemovedLeader guards against a group of four that stops for good with one
-// member lost, because the leader that alone holds its own removal neither
-// stands for election nor votes.
+// TestRemovedLeader guards against a group of four that loses its quorum
+// permanently when one member is lost, because a leader that is the only member
+// to have the entry of its own removal neither campaigns nor votes.
 func TestRemovedLeader(t *testing.T) {
 	w := newWorld(3, 4, 4)
 	w.until(t, w.converged)
 	l := w.leader()
-	l.side = 1
+	l.partition = 1
 	_, _, err := l.node.ChangeMembers(MemberChange{Kind: RemoveMember, Member: l.self}, w.now)
 	assert.NilError(t, err)
 	lost := w.hosts[0]
@@ -173,21 +176,22 @@
 		lost = w.hosts[1]
 	}
 	w.crash(lost)
-	w.pass(500)
+	w.advance(500)
 	assert.Assert(t, l.node.Role() != RoleLeader)
-	l.side = 0
+	l.partition = 0
 	w.until(t, func() bool {
 		n := w.leader()
 		return n != nil && len(n.node.Members()) == 3 && !n.node.MembersPending()
 	})
 }
 
-// TestMembershipRules guards against two changes at a time, a promotion of a
-// member that lags, and the removal of the last voter.
+// TestMembershipRules guards against two membership changes at a time, the
+// promotion of a member that has not caught up, and the removal of the last
+// voter.
 func TestMembershipRules(t *testing.T) {
 	w := newWorld(1, 1, 1)
 	w.until(t, func() bool { return w.leader() != nil })
-	w.pass(50)
+	w.advance(50)
 	n := w.leader().node
 	for _, c := range []struct {
 		change MemberChange
@@ -207,7 +211,7 @@
 			assert.Equal(t, e.Kind, c.kind)
 		}
 	}
-	w.pass(50)
+	w.advance(50)
 	m, listed := n.member(5)
 	assert.Assert(t, listed && !m.Voter)
 	_, _, err := n.ChangeMembers(MemberChange{PromoteMember, Member{ID: 5}}, w.now)
--- a/core/state/raft/output.go
+++ b/core/state/raft/output.go
@@ -1,82 +1,84 @@
 package raft
 
-// Empty reports whether there is nothing to do.
+// Empty reports whether the output contains no work.
 func (o *Output) Empty() bool {
 	return o.Hard == nil && len(o.Append) == 0 && o.Install == nil && len(o.Messages) == 0 &&
 		len(o.Committed) == 0 && len(o.Reads) == 0 && len(o.NeedSnapshot) == 0
 }
 
-// Output returns the work since the last output. All appends are made here, so
-// that proposals of one batch travel in one message. After an output that is
-// not empty the caller calls Persisted; until then Output returns nothing.
+// Output returns the work that accumulated since the last call. All append
+// messages are created here, so that the proposals of one batch are sent in one
+// message. After a non-empty output the caller must call Persisted; until then
+// Output returns an empty output.
 func (n *Node) Output() Output {
-	if n.writing {
+	if n.awaitingPersisted {
 		return Output{}
 	}
-	n.flush()
+	n.sendLeaderMessages()
 	out := Output{
-		Append:       n.log.slice(n.log.unsaved, n.log.last()),
+		Append:       n.log.slice(n.log.firstUnsaved, n.log.last()),
 		Install:      n.install,
 		InstallData:  n.installData,
 		Messages:     n.messages,
 		Committed:    n.log.slice(n.applied+1, n.commit),
-		Reads:        n.ready,
-		NeedSnapshot: n.want,
+		Reads:        n.readyReads,
+		NeedSnapshot: n.needSnapshot,
 	}
 	hard := n.hardState()
-	// A commit index that changed alone is written with the next entries: a
-	// restarted member learns it again from the leader.
-	if hard.Term != n.handed.Term || hard.Vote != n.handed.Vote || (len(out.Append) > 0 && hard != n.handed) {
+	// A change of the commit index alone is written with the next entries: after
+	// a restart the member receives the commit index from the leader again.
+	if hard.Term != n.lastOutputHard.Term || hard.Vote != n.lastOutputHard.Vote || (len(out.Append) > 0 && hard != n.lastOutputHard) {
 		out.Hard = &hard
-		n.handed = hard
+		n.lastOutputHard = hard
 	}
-	n.log.unsaved = n.log.last() + 1
+	n.log.firstUnsaved = n.log.last() + 1
 	n.applied = n.commit
-	n.messages, n.ready, n.want = nil, nil, nil
+	n.messages, n.readyReads, n.needSnapshot = nil, nil, nil
 	n.install, n.installData = nil, nil
-	n.writing = !out.Empty()
+	n.awaitingPersisted = !out.Empty()
 	return out
 }
 
-// hardState returns the state to write. Its commit index covers only entries
-// that were synced before: a crash may keep the new hard state and lose the
-// entries or the snapshot written with it, and then entries that they would
-// have replaced must not count as committed.
+// hardState returns the hard state to write. Its commit index covers only
+// entries that have been synced before: a crash may preserve the new hard state
+// but lose the entries or the snapshot written with it, and the entries that
+// they would have replaced must not count as committed then.
 func (n *Node) hardState() HardState {
-	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.stable)}
+	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.lastStable)}
 	if n.install != nil {
-		hard.Commit = n.handed.Commit
+		hard.Commit = n.lastOutputHard.Commit
 	}
 	return hard
 }
 
-// Persisted tells that the last output is on disk and synced. Only now do the
-// leader's own entries count towards a quorum.
+// Persisted reports that the last output has been written and synced to disk.
+// Only then do the leader's own entries count towards a quorum.
 func (n *Node) Persisted() {
-	if !n.writing {
+	if !n.awaitingPersisted {
 		return
 	}
-	n.writing = false
-	n.log.stable = n.log.unsaved - 1
+	n.awaitingPersisted = false
+	n.log.lastStable = n.log.firstUnsaved - 1
 	if n.role == RoleLeader {
 		n.advanceCommit()
 	}
 }
 
-// flush makes the leader's messages.
-func (n *Node) flush() {
+// sendLeaderMessages creates the pending heartbeat, append and snapshot messages
+// of the leader.
+func (n *Node) sendLeaderMessages() {
 	if n.role != RoleLeader {
 		return
 	}
-	if n.roundWanted {
-		n.round++
-		n.roundWanted = false
+	if n.roundRequested {
+		n.heartbeatRound++
+		n.roundRequested = false
 		n.broadcastHeartbeat()
 	}
 	n.confirmReads()
 	for _, m := range n.Members() {
 		if p := n.peers[m.ID]; p != nil {
-			n.sendTo(m.ID, p)
+			n.replicateTo(m.ID, p)
 		}
 	}
 }
--- a/core/state/raft/reads.go
+++ b/core/state/raft/reads.go
@@ -2,69 +2,73 @@
 
 import "camphorridge/core/state/clock"
 
-// waitingRead is a read that waits for a heartbeat round.
-type waitingRead struct {
+// pendingRead is a read that waits for a heartbeat round to be acknowledged by a
+// quorum.
+type pendingRead struct {
 	context uint64
-	// index is the commit index when the read came in, or later.
+	// index is the commit index when the read was assigned to its round.
 	index uint64
-	// round is the heartbeat round that confirms the read; 0 while the leader
-	// has not committed an entry of its own term.
+	// round is the heartbeat round that confirms the read; 0 until the leader
+	// has committed an entry of its own term.
 	round uint64
 }
 
-// ReadIndex asks for the right to answer a read from the state. The answer is in
-// the Reads of a later output. Reads are dropped when the leader steps down.
-// The error is of kind not-leader.
+// ReadIndex requests a confirmation that a linearizable read may be answered from
+// the local state. It is returned with the same context in the Reads of a later
+// Output. Pending reads are dropped when the leader steps down. The error has
+// KindNotLeader.
 func (n *Node) ReadIndex(context uint64, now clock.Millis) error {
-	n.advance(now)
+	n.advanceClock(now)
 	if n.role != RoleLeader {
-		return failf("read", KindNotLeader, "member %x is a %s", n.self, n.role)
+		return failf("read", KindNotLeader, "member %x is a %s, not the leader", n.self, n.role)
 	}
-	n.reads = append(n.reads, waitingRead{context: context})
-	n.startReads()
+	n.pendingReads = append(n.pendingReads, pendingRead{context: context})
+	n.assignReadRounds()
 	return nil
 }
 
-// ownCommitted reports whether the leader has committed an entry of its own
-// term; before that its commit index may lag behind the group's.
-func (n *Node) ownCommitted() bool {
+// committedInTerm reports whether the last committed entry is of the current
+// term. Before a leader has committed an entry of its own term, its commit index
+// may lag behind that of the group.
+func (n *Node) committedInTerm() bool {
 	t, ok := n.log.term(n.commit)
 	return ok && t == n.term
 }
 
-// startReads assigns the waiting reads to the next heartbeat round. All reads
-// between two outputs share one.
-func (n *Node) startReads() {
-	if !n.ownCommitted() {
+// assignReadRounds assigns the pending reads without a round to the next
+// heartbeat round. All reads between two outputs share one round.
+func (n *Node) assignReadRounds() {
+	if !n.committedInTerm() {
 		return
 	}
-	for i := len(n.reads) - 1; i >= 0 && n.reads[i].round == 0; i-- {
-		n.reads[i].round = n.round + 1
-		n.reads[i].index = n.commit
-		n.roundWanted = true
+	for i := len(n.pendingReads) - 1; i >= 0 && n.pendingReads[i].round == 0; i-- {
+		n.pendingReads[i].round = n.heartbeatRound + 1
+		n.pendingReads[i].index = n.commit
+		n.roundRequested = true
 	}
 }
 
-// confirmReads releases the reads whose round a quorum has answered. Rounds
-// ascend, so that the first unconfirmed read ends the search.
+// confirmReads moves the reads whose round a quorum has acknowledged to the
+// next Output. Rounds are in ascending order, so that the first unconfirmed read
+// ends the search.
 func (n *Node) confirmReads() {
-	for len(n.reads) > 0 {
-		r := n.reads[0]
-		if r.round == 0 || r.round > n.round || !n.quorum(func(id MemberID) bool { return n.acked(id) >= r.round }) {
+	for len(n.pendingReads) > 0 {
+		r := n.pendingReads[0]
+		if r.round == 0 || r.round > n.heartbeatRound || !n.hasQuorum(func(id MemberID) bool { return n.ackedRound(id) >= r.round }) {
 			return
 		}
-		n.ready = append(n.ready, ReadReady{Context: r.context, Index: r.index})
-		n.reads = n.reads[1:]
+		n.readyReads = append(n.readyReads, ReadReady{Context: r.context, Index: r.index})
+		n.pendingReads = n.pendingReads[1:]
 	}
 }
 
-// acked returns the last heartbeat round that a member has answered.
-func (n *Node) acked(id MemberID) uint64 {
+// ackedRound returns the last heartbeat round that a member has acknowledged.
+func (n *Node) ackedRound(id MemberID) uint64 {
 	if id == n.self {
-		return n.round
+		return n.heartbeatRound
 	}
 	if p := n.peers[id]; p != nil {
-		return p.acked
+		return p.ackedRound
 	}
 	return 0
 }
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -6,64 +6,69 @@
 	"camphorridge/core/state/clock"
 )
 
-// maxInflight is the number of appends to one member that may be without an
-// answer. With 64 KiB messages it bounds the data under way to 4 MiB.
+// maxInflight is the maximum number of unacknowledged appends to one member.
+// With messages of 64 KiB it limits the data in flight to 4 MiB.
 const maxInflight = 64
 
-// peerState is how the leader sends to a member.
+// peerState is the mode in which the leader replicates to a member.
 type peerState int
 
 const (
-	// stateProbe: the point of agreement is not known; one append at a time.
+	// stateProbe means that the last index at which the logs agree is not known;
+	// one append is sent at a time.
 	stateProbe peerState = iota
-	// stateStream: appends follow on each other without waiting for answers.
-	stateStream
-	// stateSnapshot: the member needs entries that were compacted.
+	// stateReplicate means that appends are sent without waiting for the replies
+	// to earlier ones.
+	stateReplicate
+	// stateSnapshot means that the member needs entries that were compacted and
+	// is sent a snapshot.
 	stateSnapshot
 )
 
-// progress is what the leader knows of another member.
+// progress is the replication state of another member as tracked by the leader.
 type progress struct {
-	// match is the last index known to be on the member's disk; it only grows.
+	// match is the index of the last entry known to be on the member's disk. It
+	// decreases only if the member's disk lost entries; see onReject.
 	match uint64
-	// next is the index that the next append starts with; above match.
+	// next is the index of the first entry of the next append; above match.
 	next  uint64
 	state peerState
-	// inflight holds the last index of each append that is not answered yet,
-	// in ascending order; at most maxInflight.
+	// inflight holds the last index of each unacknowledged append in ascending
+	// order, at most maxInflight of them.
 	inflight []uint64
-	// paused is set in stateProbe from an append until an answer.
+	// paused is set in stateProbe while an append waits for its reply.
 	paused bool
-	// nudge asks for an append even when it is empty, to find a lost one.
-	nudge bool
-	heard clock.Millis
-	// acked is the last heartbeat round that the member answered.
-	acked uint64
-	out   transfer
+	// sendEmpty requests an append even if it is empty, to detect a lost append.
+	sendEmpty   bool
+	lastContact clock.Millis
+	// ackedRound is the last heartbeat round that the member acknowledged.
+	ackedRound uint64
+	outgoing   outgoingSnapshot
 }
 
-func (p *progress) probe(next uint64) {
+func (p *progress) becomeProbe(next uint64) {
 	p.state, p.next = stateProbe, max(next, p.match+1)
-	p.inflight, p.paused, p.nudge = nil, false, false
-	p.out = transfer{}
+	p.inflight, p.paused, p.sendEmpty = nil, false, false
+	p.outgoing = outgoingSnapshot{}
 }
 
-// broadcastHeartbeat sends a heartbeat to every member. Its commit index never
-// exceeds what the member is known to hold.
+// broadcastHeartbeat sends a heartbeat to every other member. Its commit index
+// never exceeds the last entry that the member is known to hold.
 func (n *Node) broadcastHeartbeat() {
-	n.heartbeatDue = n.now + n.cfg.HeartbeatInterval
+	n.nextHeartbeat = n.now + n.cfg.HeartbeatInterval
 	for _, m := range n.Members() {
 		if p := n.peers[m.ID]; p != nil {
 			n.send(Message{
 				Kind: MsgHeartbeat, To: m.ID, Term: n.term,
-				Commit: min(p.match, n.commit), Context: n.round,
+				Commit: min(p.match, n.commit), Context: n.heartbeatRound,
 			})
 		}
 	}
 }
 
-// sendTo sends a member what it lacks, as far as its state allows.
-func (n *Node) sendTo(id MemberID, p *progress) {
+// replicateTo sends a member the entries or the snapshot chunk that it needs, as
+// far as the replication state of the member allows.
+func (n *Node) replicateTo(id MemberID, p *progress) {
 	if _, ok := n.log.term(p.next - 1); !ok || p.state == stateSnapshot {
 		n.sendSnapshot(id, p)
 		return
@@ -82,18 +87,19 @@
 		p.inflight = append(p.inflight, last)
 		sent = true
 	}
-	if p.nudge && !sent && p.match < n.log.last() {
+	if p.sendEmpty && !sent && p.match < n.log.last() {
 		n.send(Message{
 			Kind: MsgAppend, To: id, Term: n.term, Commit: n.commit,
 			Index: p.next - 1, LogTerm: n.termAt(p.next - 1),
 		})
 	}
-	p.nudge = false
+	p.sendEmpty = false
 }
 
-// sendAppend sends entries from p.next on and returns the last index sent.
+// sendAppend sends entries starting at p.next and returns the index of the last
+// one sent.
 func (n *Node) sendAppend(id MemberID, p *progress) uint64 {
-	es := n.log.bounded(p.next, n.cfg.MaxAppendBytes)
+	es := n.log.sliceMaxBytes(p.next, n.cfg.MaxAppendBytes)
 	n.send(Message{
 		Kind: MsgAppend, To: id, Term: n.term, Commit: n.commit,
 		Index: p.next - 1, LogTerm: n.termAt(p.next - 1), Entries: es,
@@ -106,18 +112,18 @@
 	return t
 }
 
-// onAppend stores the entries of the leader. The reply travels in the output
-// that carries the entries, hence after their sync.
+// onAppend appends the entries of the leader to the log. The reply is part of
+// the same Output as the entries and is therefore sent after they are synced.
 func (n *Node) onAppend(m Message) error {
 	prev, prevTerm, es := m.Index, m.LogTerm, m.Entries
-	// Committed entries agree with every leader; skip those in the message.
+	// Committed entries are the same on every leader; skip those in the message.
 	if prev < n.commit {
 		skip := min(n.commit-prev, uint64(len(es)))
 		prev, es = n.commit, es[skip:]
 		prevTerm = n.termAt(prev)
 	}
 	if t, ok := n.log.term(prev); !ok || t != prevTerm {
-		hint, term := n.log.agree(min(prev-1, n.log.last()), prevTerm)
+		hint, term := n.log.findConflictByTerm(min(prev-1, n.log.last()), prevTerm)
 		if hint < n.commit {
 			hint, term = n.commit, n.termAt(n.commit)
 		}
@@ -133,10 +139,10 @@
 			continue
 		}
 		if e.Index <= n.commit || e.Index != prev+uint64(i)+1 {
-			return failf("append", KindInvalid, "entry %d of term %d does not follow on commit %d", e.Index, e.Term, n.commit)
+			return failf("append", KindInvalid, "entry %d of term %d contradicts the log with commit index %d", e.Index, e.Term, n.commit)
 		}
 		n.truncateLog(e.Index)
-		n.addEntries(es[i:])
+		n.appendEntries(es[i:])
 		break
 	}
 	n.commitTo(min(m.Commit, last))
@@ -160,9 +166,9 @@
 	_, held := n.log.term(p.match)
 	switch {
 	case p.state == stateProbe && m.Index >= p.next-1:
-		p.state, p.paused = stateStream, false
-	case p.state == stateSnapshot && (held || p.match >= p.out.meta.Index && p.out.data != nil):
-		p.probe(p.match + 1)
+		p.state, p.paused = stateReplicate, false
+	case p.state == stateSnapshot && (held || p.match >= p.outgoing.meta.Index && p.outgoing.data != nil):
+		p.becomeProbe(p.match + 1)
 	}
 	keep := slices.IndexFunc(p.inflight, func(i uint64) bool { return i > m.Index })
 	if keep < 0 {
@@ -171,44 +177,46 @@
 	p.inflight = p.inflight[keep:]
 }
 
-// onReject moves back to the point where the logs may agree. Rejections of
-// appends that were answered meanwhile are ignored, unless the follower has
-// less than it had acknowledged: its disk lost a record, and without going
-// back it would never catch up. A late rejection that looks the same only
-// costs a resend, as a lower match can't raise the commit index.
+// onReject moves next back to the largest index at which the logs may agree.
+// Rejections of appends that have been acknowledged in the meantime are ignored,
+// unless the follower has fewer entries than it had acknowledged: its disk lost
+// a record, and it would never catch up if next were not moved back. A delayed
+// rejection that looks the same only costs a resend, because a lower match
+// cannot raise the commit index.
 func (n *Node) onReject(m Message, p *progress) {
 	lost := m.Index <= p.match && m.Hint < p.match
 	switch {
 	case p.state == stateSnapshot || (m.Index <= p.match && !lost):
 		return
 	case lost:
-		hint, _ := n.log.agree(m.Hint, m.LogTerm)
+		hint, _ := n.log.findConflictByTerm(m.Hint, m.LogTerm)
 		p.match = min(p.match, hint)
-		p.probe(p.match + 1)
+		p.becomeProbe(p.match + 1)
 		return
 	case p.state == stateProbe && m.Index != p.next-1:
 		return
 	}
-	hint, _ := n.log.agree(m.Hint, m.LogTerm)
-	p.probe(min(m.Index, hint+1))
+	hint, _ := n.log.findConflictByTerm(m.Hint, m.LogTerm)
+	p.becomeProbe(min(m.Index, hint+1))
 }
 
 func (n *Node) onHeartbeatReply(m Message, p *progress) {
-	p.acked = max(p.acked, m.Context)
+	p.ackedRound = max(p.ackedRound, m.Context)
 	p.paused = false
-	p.nudge = true
+	p.sendEmpty = true
 	n.confirmReads()
 }
 
-// advanceCommit commits what a quorum of voters has on disk. Only an entry of
-// the own term is counted; it commits those before it.
+// advanceCommit commits the entries that a quorum of voters has on disk. Only an
+// entry of the current term is committed this way; it commits all entries before
+// it.
 func (n *Node) advanceCommit() {
 	var matches []uint64
 	for _, m := range n.Members() {
 		switch p := n.peers[m.ID]; {
 		case !m.Voter:
 		case m.ID == n.self:
-			matches = append(matches, n.log.stable)
+			matches = append(matches, n.log.lastStable)
 		case p != nil:
 			matches = append(matches, p.match)
 		}
@@ -222,8 +230,9 @@
 		return
 	}
 	n.commitTo(index)
-	n.startReads()
-	// A leader that was removed leads until the removal is committed.
+	n.assignReadRounds()
+	// A leader that removes itself remains the leader until the removal is
+	// committed.
 	if _, ok := n.member(n.self); !ok && !n.MembersPending() {
 		n.becomeFollower(n.term, 0)
 	}
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -14,16 +14,17 @@
 	"camphorridge/core/state/clock"
 )
 
-// schedules is the number of seeded schedules of a run; the environment
-// variable raises it for a longer run.
+// schedules is the number of seeded schedules that TestSchedules runs. The
+// environment variable schedulesEnv can raise it.
 const (
 	schedules    = 10_000
 	schedulesEnv = "CAMPHORRIDGE_RAFT_SCHEDULES"
 )
 
-// TestSchedules guards against every violation that the world checks, under
-// loss, delay, reorder, partitions, crashes, lost disks and membership
-// changes, and against a group that does not recover once the faults end.
+// TestSchedules guards against violations of the invariants that world checks
+// under message loss, delay, reordering and duplication, partitions, crashes,
+// lost disks and membership changes, and against a group that does not recover
+// when the faults end.
 func TestSchedules(t *testing.T) {
 	count := schedules
 	if n, err := strconv.Atoi(os.Getenv(schedulesEnv)); err == nil {
@@ -34,7 +35,7 @@
 	for range runtime.GOMAXPROCS(0) {
 		wait.Go(func() {
 			for seed := next.Add(1); seed <= int64(count) && failed.Load() < 5; seed = next.Add(1) {
-				w := chaos(uint64(seed))
+				w := runSchedule(uint64(seed))
 				ops.Add(int64(len(w.history)))
 				terms.Add(int64(len(w.leaders)))
 				installs.Add(int64(w.installs))
@@ -49,19 +50,20 @@
 	wait.Wait()
 	t.Logf("%d schedules: %d client operations, %d terms with a leader, %d installed snapshots, %d lost disks",
 		count, ops.Load(), terms.Load(), installs.Load(), wipes.Load())
-	// A schedule without these events checks little.
+	// Schedules with too few of these events would check too little.
 	for name, n := range map[string]int64{"operations": ops.Load(), "terms": terms.Load(), "snapshots": installs.Load(), "lost disks": wipes.Load()} {
 		assert.Check(t, n >= int64(count)/2, "only %d %s in %d schedules", n, name, count)
 	}
 }
 
-// chaos runs one schedule: faults for a while, then a time to recover.
-func chaos(seed uint64) *world {
+// runSchedule runs one schedule: a phase with random faults and requests, and
+// then a recovery without faults.
+func runSchedule(seed uint64) *world {
 	w := newWorld(seed, 5, 3+2*int(seed%2))
-	w.loss, w.twice, w.maxDelay = w.r.IntN(20), w.r.IntN(20), 2+w.r.IntN(40)
+	w.lossPercent, w.duplicatePercent, w.maxDelay = w.r.IntN(20), w.r.IntN(20), 2+w.r.IntN(40)
 	for i := 0; i < 250 && w.err == nil; i++ {
 		w.run(clock.Millis(1 + w.r.IntN(15)))
-		w.disturb()
+		w.injectFault()
 		if i%8 == 0 {
 			w.reconcile()
 		}
@@ -73,12 +75,13 @@
 	return w
 }
 
-// recover ends all faults and fails when the group does not converge and
-// answer within 20 seconds of its own time.
+// recover ends all faults. It fails if the group does not converge within 20
+// seconds of simulated time, does not answer a read afterwards, or has a history
+// that is not linearizable.
 func (w *world) recover() {
-	w.loss, w.twice, w.maxDelay = 0, 0, 5
+	w.lossPercent, w.duplicatePercent, w.maxDelay = 0, 0, 5
 	for _, h := range w.hosts {
-		h.side, h.slow, h.frozen = 0, false, false
+		h.partition, h.slowDisk, h.frozen = 0, false, false
 		if h.node == nil {
 			w.start(h)
 		}
@@ -97,13 +100,13 @@
 	if !w.readBack() {
 		w.failf("the last read was not answered")
 	}
-	if !w.linear() {
+	if !w.linearizable() {
 		w.failf("the history is not linearizable")
 	}
 }
 
-// readBack reads until the group answers. A leader that was cut off before the
-// recovery may step down with the first tries.
+// readBack repeats a read until the group answers it. A leader that was
+// partitioned before the recovery may step down and drop the first reads.
 func (w *world) readBack() bool {
 	for try := 0; try < 40 && w.err == nil; try++ {
 		if l := w.leader(); l != nil {
@@ -119,8 +122,8 @@
 	return false
 }
 
-// disturb makes at most one fault or request.
-func (w *world) disturb() {
+// injectFault performs at most one random request, fault or end of a fault.
+func (w *world) injectFault() {
 	h := w.hosts[w.r.IntN(len(w.hosts))]
 	switch p := w.r.IntN(200); {
 	case p < 50:
@@ -131,18 +134,18 @@
 		w.start(h)
 	case p < 66:
 		for _, x := range w.hosts {
-			x.side = w.r.IntN(2)
+			x.partition = w.r.IntN(2)
 		}
 	case p < 70:
 		for _, x := range w.hosts {
-			x.side = 0
+			x.partition = 0
 		}
 	case p < 72:
-		h.slow = !h.slow
-	case p < 74 && w.mayLose(h):
+		h.slowDisk = !h.slowDisk
+	case p < 74 && w.canLoseDisk(h):
 		w.wipe(h)
 	case p < 76:
-		w.toggle(h)
+		w.toggleWanted(h)
 	case p < 78 && h.node != nil:
 		h.frozen = true
 	case p < 84:
@@ -150,7 +153,8 @@
 	}
 }
 
-// request sends to the host when it leads, mostly else to the newest leader.
+// request submits a random request, in most cases to the current leader and
+// otherwise to the given host.
 func (w *world) request(h *host) {
 	if l := w.leader(); l != nil && w.r.IntN(4) > 0 {
 		h = l
@@ -168,9 +172,9 @@
 	w.submit(h, q)
 }
 
-// mayLose reports whether every member list in use keeps a quorum without the
-// host's disk. Losing more stops the group for good, as it must.
-func (w *world) mayLose(gone *host) bool {
+// canLoseDisk reports whether every current member list keeps a quorum without
+// the disk of the host. The loss of more disks must stop the group permanently.
+func (w *world) canLoseDisk(gone *host) bool {
 	for _, h := range w.hosts {
 		n := h.node
 		if n == nil {
@@ -192,9 +196,9 @@
 	return true
 }
 
-// toggle changes whether a host should belong to the group, with at least 3
-// members and only while no disk is lost.
-func (w *world) toggle(h *host) {
+// toggleWanted changes whether a host should be a member of the group. It keeps
+// at least 3 members and does nothing unless the group has converged.
+func (w *world) toggleWanted(h *host) {
 	wanted := 0
 	for _, x := range w.hosts {
 		if x.wanted {
@@ -209,8 +213,9 @@
 	}
 }
 
-// TestAnyOrder lets rapid choose single events, so that a failure shrinks to
-// the shortest order of events that breaks a rule.
+// TestAnyOrder guards against violations of the invariants under an order of
+// single events that rapid chooses, so that a failure shrinks to the shortest
+// order of events that reproduces it.
 func TestAnyOrder(t *testing.T) {
 	// A check has 30 events and takes 0.2 ms, so 20 runs of rapid's 100 are
 	// cheap.
@@ -226,10 +231,10 @@
 	}
 	host := func() *host { return w.hosts[rapid.IntRange(0, 2).Draw(t, "host")] }
 	take := func() Message {
-		if len(w.net) == 0 {
-			t.Skip("no message is under way")
+		if len(w.network) == 0 {
+			t.Skip("no message is in flight")
 		}
-		return w.net[rapid.IntRange(0, len(w.net)-1).Draw(t, "message")].m
+		return w.network[rapid.IntRange(0, len(w.network)-1).Draw(t, "message")].m
 	}
 	t.Repeat(map[string]func(*rapid.T){
 		"deliver": func(*rapid.T) { w.deliver(take()) },
@@ -250,5 +255,5 @@
 			assert.NilError(t, w.err)
 		},
 	})
-	assert.Assert(t, w.linear())
+	assert.Assert(t, w.linearizable())
 }
--- a/core/state/raft/snapshot.go
+++ b/core/state/raft/snapshot.go
@@ -2,78 +2,80 @@
 
 import "camphorridge/core/state/clock"
 
-// transfer is a snapshot on its way to a member; one chunk is under way at a
+// outgoingSnapshot is a snapshot that is being sent to a member, one chunk at a
 // time.
-type transfer struct {
+type outgoingSnapshot struct {
 	meta SnapshotMeta
-	// data is nil until the caller provided it.
+	// data is nil until the caller has provided it.
 	data []byte
-	// offset is where the chunk under way starts.
+	// offset is the offset in bytes of the current chunk.
 	offset uint64
-	// sent is the time of the last request for data or of the last chunk; 0
-	// when the next one is due.
-	sent clock.Millis
+	// lastSend is the time at which the data was last requested from the caller
+	// or a chunk was last sent; 0 when the next one is due at once.
+	lastSend clock.Millis
 }
 
-// incoming is a snapshot that arrives in chunks. A restart forgets it.
-type incoming struct {
+// incomingSnapshot is a partially received snapshot. It is kept only in memory
+// and is lost in a restart.
+type incomingSnapshot struct {
 	from MemberID
 	meta SnapshotMeta
 	data []byte
 }
 
-// sendSnapshot asks the caller for a snapshot, or sends the next chunk. A
-// member that does not answer gets nothing.
+// sendSnapshot requests the snapshot from the caller or sends the current chunk.
+// Nothing is sent to a member that has not been active recently.
 func (n *Node) sendSnapshot(id MemberID, p *progress) {
 	if p.state != stateSnapshot {
-		p.probe(p.next)
+		p.becomeProbe(p.next)
 		p.state = stateSnapshot
 	}
-	if !n.recent(id) {
-		p.out = transfer{}
+	if !n.recentlyActive(id) {
+		p.outgoing = outgoingSnapshot{}
 		return
 	}
-	if p.out.sent != 0 && n.now-p.out.sent < 2*n.cfg.HeartbeatInterval {
+	if p.outgoing.lastSend != 0 && n.now-p.outgoing.lastSend < 2*n.cfg.HeartbeatInterval {
 		return
 	}
-	p.out.sent = n.now
-	if p.out.data == nil {
-		n.want = append(n.want, id)
+	p.outgoing.lastSend = n.now
+	if p.outgoing.data == nil {
+		n.needSnapshot = append(n.needSnapshot, id)
 		return
 	}
-	from := p.out.offset
-	to := min(from+uint64(n.cfg.ChunkBytes), uint64(len(p.out.data)))
+	from := p.outgoing.offset
+	to := min(from+uint64(n.cfg.ChunkBytes), uint64(len(p.outgoing.data)))
 	n.send(Message{
-		Kind: MsgSnapshot, To: id, Term: n.term, Snapshot: p.out.meta,
-		Offset: from, Chunk: p.out.data[from:to:to], Last: to == uint64(len(p.out.data)),
+		Kind: MsgSnapshot, To: id, Term: n.term, Snapshot: p.outgoing.meta,
+		Offset: from, Chunk: p.outgoing.data[from:to:to], Last: to == uint64(len(p.outgoing.data)),
 	})
 }
 
-// ProvideSnapshot gives the data that an output's NeedSnapshot asked for. It
-// is ignored when the member needs it no longer.
+// ProvideSnapshot provides the snapshot data that an Output requested in
+// NeedSnapshot. It is ignored if the member no longer needs a snapshot.
 func (n *Node) ProvideSnapshot(to MemberID, meta SnapshotMeta, data []byte) {
 	p := n.peers[to]
-	if n.role != RoleLeader || p == nil || p.state != stateSnapshot || p.out.data != nil || meta.Index < n.log.base {
+	if n.role != RoleLeader || p == nil || p.state != stateSnapshot || p.outgoing.data != nil || meta.Index < n.log.base {
 		return
 	}
 	if data == nil {
 		data = []byte{}
 	}
-	p.out = transfer{meta: meta, data: data}
+	p.outgoing = outgoingSnapshot{meta: meta, data: data}
 }
 
-// onSnapshotReply moves on to the chunk that the member wants next. Answers to
-// earlier chunks are ignored, so that a repeated message starts no second
-// chain of chunks.
+// onSnapshotReply moves on to the next chunk that the member requests. Replies
+// to earlier chunks are ignored, so that a duplicated message does not start a
+// second sequence of chunks.
 func (n *Node) onSnapshotReply(m Message, p *progress) {
-	if p.state != stateSnapshot || p.out.data == nil || m.Index != p.out.meta.Index || m.Hint != p.out.offset {
+	if p.state != stateSnapshot || p.outgoing.data == nil || m.Index != p.outgoing.meta.Index || m.Hint != p.outgoing.offset {
 		return
 	}
-	p.out.offset = min(m.Offset, uint64(len(p.out.data)))
-	p.out.sent = 0
+	p.outgoing.offset = min(m.Offset, uint64(len(p.outgoing.data)))
+	p.outgoing.lastSend = 0
 }
 
-// onSnapshot collects the chunks and installs the snapshot with the last one.
+// onSnapshot collects the chunks of a snapshot and installs it when the last
+// one has been received.
 func (n *Node) onSnapshot(m Message) {
 	meta := m.Snapshot
 	if meta.Index <= n.commit {
@@ -82,7 +84,7 @@
 	}
 	in := &n.incoming
 	if in.from != m.From || in.meta.Index != meta.Index || in.meta.Term != meta.Term {
-		*in = incoming{from: m.From, meta: meta}
+		*in = incomingSnapshot{from: m.From, meta: meta}
 	}
 	if m.Offset == uint64(len(in.data)) {
 		in.data = append(in.data, m.Chunk...)
@@ -97,30 +99,32 @@
 	})
 }
 
-// finishSnapshot replaces state and log by a whole snapshot, unless the log
-// holds its last entry: then only the commit index moves.
+// finishSnapshot replaces the state and the log with a completely received
+// snapshot. If the log holds the last entry of the snapshot, only the commit
+// index is raised.
 func (n *Node) finishSnapshot(from MemberID, meta SnapshotMeta, data []byte) {
-	n.incoming = incoming{}
+	n.incoming = incomingSnapshot{}
 	if t, ok := n.log.term(meta.Index); ok && t == meta.Term {
 		n.commitTo(meta.Index)
 	} else {
 		n.log.reset(meta.Index, meta.Term)
-		n.lists = []memberList{{index: meta.Index, members: meta.Members}}
-		n.commit, n.applied, n.snapIndex = meta.Index, meta.Index, meta.Index
+		n.memberLists = []memberList{{index: meta.Index, members: meta.Members}}
+		n.commit, n.applied, n.snapshotIndex = meta.Index, meta.Index, meta.Index
 		n.install, n.installData = &meta, data
 	}
 	n.send(Message{Kind: MsgAppendReply, To: from, Term: n.term, Index: meta.Index})
 }
 
-// Compact tells that the caller has a snapshot up to meta.Index on disk; the
-// log drops the entries that it no longer needs.
+// Compact reports that the caller has stored a snapshot up to meta.Index on
+// disk. It removes the entries from the log that are no longer needed, except
+// the last KeepEntries.
 func (n *Node) Compact(meta SnapshotMeta) {
-	if meta.Index <= n.snapIndex || meta.Index > n.applied {
+	if meta.Index <= n.snapshotIndex || meta.Index > n.applied {
 		return
 	}
-	n.snapIndex = meta.Index
+	n.snapshotIndex = meta.Index
 	if meta.Index > n.cfg.KeepEntries {
 		n.log.compact(meta.Index - n.cfg.KeepEntries)
 	}
-	n.trimLists(n.log.base)
+	n.trimMemberLists(n.log.base)
 }
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -5,9 +5,9 @@
 	"camphorridge/core/state/model"
 )
 
-// MemberID is the random identity of a member. It is made with an empty data
-// folder and is never reused, so that a member that lost its disk is a new
-// member. 0 is no member.
+// MemberID is the random identity of a member. It is generated when the data
+// folder is created and is never reused, so that a member that lost its disk
+// joins as a new member. 0 means no member.
 type MemberID uint64
 
 // Member is one member of the group.
@@ -16,27 +16,27 @@
 	Name    model.Process
 	Zone    model.Zone
 	Address string
-	// Voter is false while the member catches up.
+	// Voter is false while the member catches up with the log.
 	Voter bool
 }
 
-// EntryKind tells log entries apart.
+// EntryKind is the type of a log entry.
 type EntryKind int
 
-// The kinds of entry.
+// The types of log entry.
 const (
-	// EntryChange carries an encoded change.
+	// EntryChange carries an encoded change of the replicated state.
 	EntryChange EntryKind = iota
-	// EntryNoOp is the empty entry that starts a leader's term.
+	// EntryNoOp is the empty entry that a new leader appends at the start of its
+	// term.
 	EntryNoOp
-	// EntryMembers carries the encoded member list that is in force from this
-	// entry on.
+	// EntryMembers carries the member list that takes effect with this entry.
 	EntryMembers
 )
 
 // Entry is one entry of the log.
 type Entry struct {
-	// Index grows by exactly 1 from entry to entry and starts at 1.
+	// Index starts at 1 and increases by exactly 1 from entry to entry.
 	Index uint64
 	// Term never decreases from entry to entry.
 	Term uint64
@@ -46,29 +46,30 @@
 	Members []Member
 }
 
-// HardState must be synced to disk before any message of the same output is
-// sent.
+// HardState is the state of a member that must be synced to disk before any
+// message of the same Output is sent.
 type HardState struct {
-	// Term only grows.
+	// Term never decreases.
 	Term uint64
-	// Vote is the candidate voted for in Term; 0 for none.
+	// Vote is the candidate voted for in Term; 0 means none.
 	Vote MemberID
-	// Commit only grows; it need not be synced with each change.
+	// Commit is the index of the last entry known to be committed. It never
+	// decreases and need not be synced with each change.
 	Commit uint64
 }
 
 // SnapshotMeta describes a snapshot of the replicated state.
 type SnapshotMeta struct {
-	// Index and Term are those of the last entry that the snapshot contains.
+	// Index and Term identify the last entry that the snapshot contains.
 	Index   uint64
 	Term    uint64
 	Members []Member
 }
 
-// MessageKind tells messages apart.
+// MessageKind is the type of a message.
 type MessageKind int
 
-// The kinds of message.
+// The types of message.
 const (
 	MsgPreVote MessageKind = iota
 	MsgPreVoteReply
@@ -83,33 +84,37 @@
 	MsgSnapshotReply
 )
 
-// Message passes between two members.
+// Message is sent from one member to another.
 type Message struct {
 	Kind MessageKind
 	From MemberID
 	To   MemberID
 	Term uint64
-	// Index and LogTerm are the previous entry of an append, or the last entry
-	// of a candidate.
+	// Index and LogTerm identify the entry before the entries of an append, or
+	// the last log entry of a candidate.
 	Index   uint64
 	LogTerm uint64
 	Commit  uint64
 	Entries []Entry
 	Reject  bool
-	// Hint is, in a rejected append, the largest index at which the follower's
-	// log may still agree; LogTerm is the term there. In a reply to a chunk it
-	// is the offset of that chunk.
+	// Hint is, in the rejection of an append, the largest index at which the
+	// follower's log may agree with the leader's, and LogTerm is the term of
+	// that entry. In a reply to a snapshot chunk, Hint is the offset of the
+	// chunk.
 	Hint uint64
-	// Context returns with the reply of a heartbeat; it confirms reads.
+	// Context is the heartbeat round. The reply to a heartbeat repeats it,
+	// which confirms the reads of that round.
 	Context  uint64
 	Snapshot SnapshotMeta
-	// Offset, Chunk and Last are a part of the snapshot's data.
+	// Offset, Chunk and Last are the offset in bytes and the data of a snapshot
+	// chunk, and whether it is the last one. In a reply, Offset is the number
+	// of bytes received.
 	Offset uint64
 	Chunk  []byte
 	Last   bool
 }
 
-// Role is what a member does in its term.
+// Role is the role of a member in its current term.
 type Role int
 
 // The roles.
@@ -121,7 +126,7 @@
 
 var roleNames = [...]string{"follower", "candidate", "leader"}
 
-// String returns the name used in reports.
+// String returns the name of the role as used in reports.
 func (r Role) String() string {
 	if r < 0 || int(r) >= len(roleNames) {
 		return "unknown"
@@ -129,58 +134,64 @@
 	return roleNames[r]
 }
 
-// StoredState is what a member finds in its data folder at start.
+// StoredState is the state that a member loads from its data folder at startup.
 type StoredState struct {
 	Self     Member
 	Hard     HardState
 	Snapshot SnapshotMeta
-	// Entries follow on Snapshot.Index without a gap.
+	// Entries start at Snapshot.Index+1 and have no gap.
 	Entries []Entry
 }
 
-// Config sets the timing of a member.
+// Config holds the timing and size limits of a member.
 type Config struct {
-	// ElectionTimeout is the smallest time without a leader before a
-	// pre-vote; the largest is twice that.
+	// ElectionTimeout is the minimum time without contact from a leader after
+	// which a member starts a pre-vote. The maximum is twice that; the timeout
+	// is drawn at random in between.
 	ElectionTimeout clock.Millis
-	// HeartbeatInterval is at most a third of ElectionTimeout.
+	// HeartbeatInterval is the time between heartbeats of the leader. New caps
+	// it at a third of ElectionTimeout.
 	HeartbeatInterval clock.Millis
-	// MaxAppendBytes bounds the entries of one message.
+	// MaxAppendBytes limits the size of the entries in one message. A single
+	// larger entry is still sent.
 	MaxAppendBytes int
-	// ChunkBytes bounds the data of one snapshot message.
+	// ChunkBytes limits the data in one snapshot message.
 	ChunkBytes int
-	// KeepEntries is the number of entries that stay in memory behind a
-	// snapshot, so that a member that lags a little needs no snapshot.
+	// KeepEntries is the number of entries covered by a snapshot that stay in
+	// memory, so that a follower that lags slightly needs no snapshot.
 	KeepEntries uint64
-	// Seed feeds the random election timeouts.
+	// Seed seeds the random election timeouts.
 	Seed uint64
 }
 
-// Output is what the caller must do after a step, in this order: sync Hard
+// Output is the work that the caller must perform, in this order: sync Hard
 // and Append to disk, install the snapshot, call Persisted, send Messages,
-// apply Committed, answer Reads. When a write fails the caller writes the same
-// output again; until Persisted the node hands out no other.
+// apply Committed, answer Reads. If a write fails, the caller retries the same
+// output; the node returns no other output until Persisted is called.
 type Output struct {
-	// Hard is nil when the hard state did not change.
+	// Hard is nil when the hard state need not be written.
 	Hard *HardState
-	// Append replaces all stored entries from Append[0].Index on.
+	// Append replaces all stored entries with an index of Append[0].Index or
+	// higher.
 	Append []Entry
-	// Install is set when a snapshot was received whole; InstallData is its
-	// content. It replaces the state and the log.
+	// Install is set when a complete snapshot was received, and InstallData is
+	// its content. The snapshot replaces the state and the log.
 	Install     *SnapshotMeta
 	InstallData []byte
 	Messages    []Message
-	// Committed entries follow on those of the output before.
+	// Committed lists the newly committed entries. They continue those of the
+	// previous output without a gap.
 	Committed []Entry
-	// Reads are the contexts of reads that may be answered once the state has
-	// been applied up to ReadIndex.
+	// Reads lists the reads that may be answered once the entries up to their
+	// Index have been applied.
 	Reads []ReadReady
-	// NeedSnapshot lists members that want snapshot data; the caller answers
-	// with ProvideSnapshot.
+	// NeedSnapshot lists the members that need a snapshot; the caller passes
+	// its data to ProvideSnapshot.
 	NeedSnapshot []MemberID
 }
 
-// ReadReady says that a read may be answered from the state at Index.
+// ReadReady reports that the read with the given Context may be answered once
+// the entries up to Index have been applied.
 type ReadReady struct {
 	Context uint64
 	Index   uint64
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -11,7 +11,7 @@
 	"camphorridge/core/state/clock"
 )
 
-// disk is what survives a crash of a host.
+// disk is the state of a host that survives a crash.
 type disk struct {
 	hard    HardState
 	snap    SnapshotMeta
@@ -21,7 +21,8 @@
 
 func (d *disk) last() uint64 { return d.snap.Index + uint64(len(d.entries)) }
 
-// write stores an output, or the part of it that a crash let through.
+// write stores the hard state and the entries of an output, or the part of them
+// that was written before a crash.
 func (d *disk) write(hard *HardState, entries []Entry) {
 	if hard != nil {
 		d.hard = *hard
@@ -32,19 +33,19 @@
 	}
 }
 
-// host is a machine with a disk; node is nil while it is down.
+// host is a machine with a disk. node is nil while the host is down.
 type host struct {
-	self    Member
-	wanted  bool
-	side    int
-	node    *Node
-	disk    disk
-	writing *Output
-	due     clock.Millis
-	slow    bool
-	// frozen stands for a process that gets no processor time.
+	self      Member
+	wanted    bool
+	partition int
+	node      *Node
+	disk      disk
+	writing   *Output
+	writeDue  clock.Millis
+	slowDisk  bool
+	// frozen is set while the process is paused and gets no processor time.
 	frozen bool
-	// value, applied and commit belong to the running node.
+	// value, applied and commit are the volatile state of the running node.
 	value   int64
 	applied uint64
 	commit  uint64
@@ -57,35 +58,38 @@
 	op   int
 }
 
-type flight struct {
+type inFlight struct {
 	m   Message
 	due clock.Millis
 }
 
-// world is a group on a simulated network, with the checks of section 4.7.
+// world is a simulation of a group: hosts with disks, a network and a clock. It
+// checks election safety, leader completeness, log matching, state machine safety
+// and that promises are on disk before they are sent.
 type world struct {
-	r     *rand.Rand
-	now   clock.Millis
-	hosts []*host
-	net   []flight
-	ids   MemberID
-	cfg   Config
-	// snapEvery is the number of applied entries between snapshots.
-	snapEvery uint64
-	loss      int
-	twice     int
-	maxDelay  int
-	leaders   map[uint64]MemberID
-	// committed is every entry that any host applied, by index-1.
-	committed []Entry
-	history   []porcupine.Operation
-	stamp     int64
-	installs  int
-	wipes     int
-	err       error
-}
-
-// request is an operation on the replicated register.
+	r       *rand.Rand
+	now     clock.Millis
+	hosts   []*host
+	network []inFlight
+	lastID  MemberID
+	cfg     Config
+	// snapEvery is the number of applied entries between two snapshots.
+	snapEvery        uint64
+	lossPercent      int
+	duplicatePercent int
+	maxDelay         int
+	leaders          map[uint64]MemberID
+	// committed lists the entries that any host has applied; the entry with
+	// index i is at i-1.
+	committed      []Entry
+	history        []porcupine.Operation
+	operationClock int64
+	installs       int
+	wipes          int
+	err            error
+}
+
+// request is a client operation on the replicated register.
 type request struct {
 	kind     byte
 	old, new int64
@@ -98,8 +102,8 @@
 	forever = int64(1) << 62
 )
 
-// register is the sequential model: an output of -1 means that the client
-// never learnt the outcome.
+// register is the sequential model of the register. An output of -1 means that
+// the client has not received the outcome.
 var register = porcupine.Model{
 	Init: func() any { return int64(0) },
 	Step: func(state, input, output any) (bool, any) {
@@ -147,8 +151,8 @@
 }
 
 func (w *world) newMember() Member {
-	w.ids++
-	return Member{ID: w.ids}
+	w.lastID++
+	return Member{ID: w.lastID}
 }
 
 func (w *world) failf(format string, args ...any) {
@@ -171,7 +175,8 @@
 	}
 }
 
-// crash stops a host. A write under way is lost, or any part of it survives.
+// crash stops a host. A write in progress is lost, or a random part of it is
+// kept.
 func (w *world) crash(h *host) {
 	if out := h.writing; out != nil && w.r.IntN(2) == 0 {
 		hard := []*HardState{out.Hard, nil}[w.r.IntN(2)]
@@ -180,7 +185,7 @@
 	h.node, h.writing, h.frozen = nil, nil, false
 }
 
-// wipe replaces a host's disk by an empty one with a new identity.
+// wipe crashes a host and restarts it with an empty disk and a new member ID.
 func (w *world) wipe(h *host) {
 	w.crash(h)
 	w.wipes++
@@ -197,12 +202,13 @@
 	return nil
 }
 
-// run advances the time and gives every host its turn.
+// run advances the time by step, delivers the messages that are due and lets
+// every host tick and process its output.
 func (w *world) run(step clock.Millis) {
 	w.now += step
-	due := w.net[:0:0]
-	rest := w.net[:0:0]
-	for _, f := range w.net {
+	due := w.network[:0:0]
+	rest := w.network[:0:0]
+	for _, f := range w.network {
 		to := w.byID(f.m.To)
 		if f.due <= w.now && (to == nil || !to.frozen) {
 			due = append(due, f)
@@ -210,31 +216,32 @@
 			rest = append(rest, f)
 		}
 	}
-	w.net = rest
+	w.network = rest
 	for _, f := range due {
 		w.deliver(f.m)
 	}
 	for _, h := range w.hosts {
 		if h.node != nil && !h.frozen {
 			h.node.Tick(w.now)
-			w.turn(h)
+			w.process(h)
 		}
 	}
 }
 
 func (w *world) deliver(m Message) {
 	h, from := w.byID(m.To), w.byID(m.From)
-	if h == nil || h.node == nil || (from != nil && from.side != h.side) {
+	if h == nil || h.node == nil || (from != nil && from.partition != h.partition) {
 		return
 	}
 	if err := h.node.Step(m, w.now); err != nil {
 		w.failf("host %d: %w", m.To, err)
 	}
-	w.turn(h)
+	w.process(h)
 }
 
-// turn finishes a due write and starts the next one.
-func (w *world) turn(h *host) {
+// process completes a write that is due and starts the next one, until a write is
+// in progress or the node has no more output.
+func (w *world) process(h *host) {
 	for h.node != nil && w.err == nil {
 		w.check(h)
 		if h.writing == nil {
@@ -243,23 +250,24 @@
 				return
 			}
 			w.checkHard(h, out.Hard)
-			h.writing, h.due = &out, w.now
+			h.writing, h.writeDue = &out, w.now
 			if len(out.Append) > 0 || out.Hard != nil {
-				h.due += clock.Millis(w.r.IntN(3))
-				if h.slow {
-					h.due += clock.Millis(w.r.IntN(150))
+				h.writeDue += clock.Millis(w.r.IntN(3))
+				if h.slowDisk {
+					h.writeDue += clock.Millis(w.r.IntN(150))
 				}
 			}
 		}
-		if h.due > w.now {
+		if h.writeDue > w.now {
 			return
 		}
-		w.finish(h)
+		w.completeWrite(h)
 	}
 }
 
-// finish syncs the write under way and does what may follow on it.
-func (w *world) finish(h *host) {
+// completeWrite completes the write in progress and then sends the messages,
+// applies the entries and answers the reads of the output.
+func (w *world) completeWrite(h *host) {
 	out := h.writing
 	h.writing = nil
 	h.disk.write(out.Hard, out.Append)
@@ -271,7 +279,7 @@
 	h.node.Persisted()
 	for _, m := range out.Messages {
 		w.checkSynced(h, m)
-		w.post(m)
+		w.sendMessage(m)
 	}
 	for _, e := range out.Committed {
 		w.apply(h, e)
@@ -290,9 +298,9 @@
 func (w *world) snapshot(h *host) {
 	meta, ok := h.node.SnapshotMetaAt(h.applied)
 	if !ok {
-		// The log was replaced while these entries were being written.
+		// The log was replaced by a snapshot while these entries were written.
 		if h.node.install == nil {
-			w.failf("host %d: no meta for applied index %d", h.self.ID, h.applied)
+			w.failf("host %d has no snapshot description for applied index %d", h.self.ID, h.applied)
 		}
 		return
 	}
@@ -303,17 +311,17 @@
 	h.node.Compact(meta)
 }
 
-func (w *world) post(m Message) {
-	if w.r.IntN(100) < w.loss {
+func (w *world) sendMessage(m Message) {
+	if w.r.IntN(100) < w.lossPercent {
 		return
 	}
-	w.net = append(w.net, flight{m, w.now + clock.Millis(1+w.r.IntN(w.maxDelay))})
-	if w.r.IntN(100) < w.twice {
-		w.net = append(w.net, flight{m, w.now + clock.Millis(1+w.r.IntN(4*w.maxDelay))})
+	w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.r.IntN(w.maxDelay))})
+	if w.r.IntN(100) < w.duplicatePercent {
+		w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.r.IntN(4*w.maxDelay))})
 	}
 }
 
-// apply checks state-machine safety and answers the client.
+// apply applies an entry, checks state machine safety and answers the client.
 func (w *world) apply(h *host, e Entry) {
 	if e.Index != h.applied+1 {
 		w.failf("host %d applied %d after %d", h.self.ID, e.Index, h.applied)
@@ -325,7 +333,7 @@
 	case e.Index > known+1:
 		w.failf("host %d applied %d before anyone applied %d", h.self.ID, e.Index, known+1)
 	case w.committed[e.Index-1].Term != e.Term || string(w.committed[e.Index-1].Data) != string(e.Data):
-		w.failf("host %d applied another entry at %d", h.self.ID, e.Index)
+		w.failf("host %d applied a different entry at index %d", h.self.ID, e.Index)
 	}
 	result := int64(0)
 	if e.Kind == EntryChange {
@@ -354,16 +362,16 @@
 	return request{b[0], int64(binary.BigEndian.Uint64(b[1:])), int64(binary.BigEndian.Uint64(b[9:]))}
 }
 
-// submit sends a request to a host, which may be a stale leader. A frozen
-// process wakes up with the request, before it sees how late it is.
+// submit submits a request to a host, which may be a stale leader. A frozen
+// process resumes with the request, before its clock has advanced.
 func (w *world) submit(h *host, q request) {
 	h.frozen = false
 	if h.node == nil {
 		return
 	}
 	op := len(w.history)
-	w.stamp++
-	record := porcupine.Operation{ClientId: op, Input: q, Call: w.stamp, Output: int64(-1), Return: forever}
+	w.operationClock++
+	record := porcupine.Operation{ClientId: op, Input: q, Call: w.operationClock, Output: int64(-1), Return: forever}
 	if q.kind == opRead {
 		if h.node.ReadIndex(uint64(op), w.now) != nil {
 			return
@@ -377,17 +385,17 @@
 		h.waiting[index] = waiter{term, op}
 	}
 	w.history = append(w.history, record)
-	w.turn(h)
+	w.process(h)
 }
 
 func (w *world) reply(op int, result int64) {
-	w.stamp++
-	w.history[op].Output, w.history[op].Return = result, w.stamp
+	w.operationClock++
+	w.history[op].Output, w.history[op].Return = result, w.operationClock
 }
 
 func (w *world) answerRead(h *host, r ReadReady) {
 	if r.Index > h.applied {
-		w.failf("host %d: read at %d with only %d applied", h.self.ID, r.Index, h.applied)
+		w.failf("host %d answers a read at index %d with only %d applied", h.self.ID, r.Index, h.applied)
 	}
 	if op, ok := h.reading[r.Context]; ok {
 		w.reply(op, h.value)
@@ -395,16 +403,16 @@
 	}
 }
 
-// linear reports whether the client history is linearizable. Reads without an
-// answer constrain nothing and are left out.
-func (w *world) linear() bool {
+// linearizable reports whether the client history is linearizable. Reads without
+// an answer do not constrain the history and are left out.
+func (w *world) linearizable() bool {
 	done := slices.DeleteFunc(slices.Clone(w.history), func(o porcupine.Operation) bool {
 		return o.Input.(request).kind == opRead && o.Return == forever
 	})
 	return porcupine.CheckOperations(register, done)
 }
 
-// leader returns the host that leads the highest term.
+// leader returns the leader with the highest term, or nil if there is none.
 func (w *world) leader() *host {
 	var best *host
 	for _, h := range w.hosts {
@@ -415,7 +423,7 @@
 	return best
 }
 
-// reconcile makes one membership change towards the wanted hosts.
+// reconcile makes at most one membership change towards the wanted hosts.
 func (w *world) reconcile() {
 	l := w.leader()
 	if l == nil {
@@ -424,7 +432,7 @@
 	change := func(k ChangeKind, m Member) bool {
 		_, _, err := l.node.ChangeMembers(MemberChange{Kind: k, Member: m}, w.now)
 		if err == nil && l.node.termAt(l.node.commit) != l.node.term {
-			w.failf("leader %d changes the members before it committed an entry of its term", l.self.ID)
+			w.failf("leader %d changed the members before it committed an entry of its term", l.self.ID)
 		}
 		return err == nil
 	}
--- a/core/state/ring/doc.go
+++ b/core/state/ring/doc.go
@@ -1,2 +1,3 @@
-// Package ring holds the bounded queue that joins two duties.
+// Package ring provides the bounded ring buffer that passes values between
+// goroutines.
 package ring
