Describe the member's event loop and its inputs in usual terms

'Duty', 'take', 'perform', 'notice', 'fault', 'joins' and 'seen' gave no hint of what happens. The package now speaks of an event loop whose inputs are handled (handle.go), of outputs of the Raft node (output.go), and of pending proposals, reads and joins. In the tests, memory, plain and links are memStorage, jsonCodec and network, and the waits name their condition. Error messages of busy, wrong leader and duplicate names are complete; none is matched by another package or test.

--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -9,7 +9,7 @@
 	"camphorridge/core/state/raft"
 )
 
-// inputKind tells inputs apart.
+// inputKind is the type of an input.
 type inputKind int
 
 const (
@@ -23,7 +23,7 @@
 	inputRemove
 )
 
-// input is one value in the duty's ring.
+// input is a request or a batch of messages for the event loop.
 type input struct {
 	kind     inputKind
 	op       string
@@ -32,9 +32,9 @@
 	query    func(*fleet.State)
 	watch    watcher
 	member   raft.Member
-	// done is closed when the caller no longer waits; nil for never.
+	// done is closed when the caller no longer waits; nil if it always waits.
 	done <-chan struct{}
-	// reply holds one answer and is nil for messages.
+	// reply has a buffer for one answer and is nil for messages.
 	reply chan answer
 }
 
@@ -44,16 +44,16 @@
 	err    error
 }
 
-// answer replies without waiting; the reply channel has room for the one
-// answer that an input gets.
+// answer sends the answer to the caller without blocking: the reply channel has
+// a buffer for the only answer that an input receives.
 func (in *input) answer(a answer) {
 	if in.reply != nil {
 		in.reply <- a
 	}
 }
 
-// gone reports whether the caller no longer waits.
-func (in *input) gone() bool { return isClosed(in.done) }
+// abandoned reports whether the caller no longer waits.
+func (in *input) abandoned() bool { return isClosed(in.done) }
 
 func isClosed(done <-chan struct{}) bool {
 	select {
@@ -64,18 +64,19 @@
 	}
 }
 
-// call puts an input into the ring and waits for its answer. lost is the kind
-// of error when the wait ends early.
+// call queues an input for the event loop and waits for its answer. interrupted
+// is the kind of the error if the caller's context or the event loop ends before
+// the answer.
 func (g *Group[S, C]) call(ctx context.Context, in input, lost Kind) (answer, error) {
 	if isClosed(g.done) {
 		return answer{}, failf(in.op, KindStopped, "the member stopped")
 	}
 	in.reply = make(chan answer, 1)
 	in.done = ctx.Done()
-	// A quarter of the ring is for messages of peers: were they dropped in
-	// favour of proposals, the load would cost the leader its term.
+	// A quarter of the ring is reserved for messages from peers: if requests
+	// displaced them, the leader would lose its leadership under load.
 	if g.ring.Len() >= g.cfg.RingCapacity-g.cfg.RingCapacity/4 || !g.ring.TryPut(in) {
-		return answer{}, failf(in.op, KindBusy, "%d inputs wait", g.ring.Len())
+		return answer{}, failf(in.op, KindBusy, "%d inputs are queued", g.ring.Len())
 	}
 	select {
 	case a := <-in.reply:
@@ -92,26 +93,29 @@
 	}
 }
 
-// Propose replicates a change and returns its result once it is applied here.
-// The leader sets the change's time. Errors of kind outcome-unknown leave open
-// whether the change is applied; after all others it never is.
+// Propose replicates a change and returns its result once it is applied on this
+// member. The leader sets the time of the change. After an error with
+// KindOutcomeUnknown the change may or may not be applied; after any other error
+// it is never applied.
 func (g *Group[S, C]) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	a, err := g.call(ctx, input{kind: inputPropose, op: "propose", change: c}, KindOutcomeUnknown)
 	return a.result, err
 }
 
-// ReadBarrier returns nil when a query that follows sees every change that was
-// acknowledged before the call, by any member.
+// ReadBarrier waits until a subsequent Query is certain to observe every change
+// that any member had acknowledged before the call, and then returns nil. Only
+// the leader can answer it.
 func (g *Group[S, C]) ReadBarrier(ctx context.Context) error {
 	_, err := g.call(ctx, input{kind: inputRead, op: "read"}, KindCanceled)
 	return err
 }
 
-// Query runs f inside the duty on the state as applied here. f must neither
-// change nor keep the state, and must be short: the member waits for it.
+// Query runs f in the event loop on the state as applied on this member. f must
+// neither modify nor retain the state, and must be short because it blocks the
+// member.
 func (g *Group[S, C]) Query(ctx context.Context, f func(*fleet.State)) error {
-	// Either the duty or a caller whose context ends takes the claim, so that
-	// f never runs after Query has returned.
+	// Either the event loop or a caller whose context has ended sets claimed, so
+	// that f never runs after Query has returned.
 	var claim atomic.Bool
 	finished := make(chan struct{})
 	in := input{kind: inputQuery, op: "query", query: func(s *fleet.State) {
@@ -128,36 +132,38 @@
 	return err
 }
 
-// Watch returns a channel that is closed once the table version is above
-// after. The watch ends with the context.
+// Watch returns a channel that is closed once the version of the state is
+// above after. The watch is removed when ctx ends.
 func (g *Group[S, C]) Watch(ctx context.Context, after model.Version) (<-chan struct{}, error) {
-	w := watcher{after: after, fire: make(chan struct{}), done: ctx.Done()}
+	w := watcher{after: after, fired: make(chan struct{}), done: ctx.Done()}
 	_, err := g.call(ctx, input{kind: inputWatch, op: "watch", watch: w}, KindCanceled)
-	return w.fire, err
+	return w.fired, err
 }
 
-// Step hands messages from peers to the duty. It does not wait: when the ring
-// is full the messages are dropped, and their senders repeat them.
+// Step passes messages from peers to the event loop without blocking. If the
+// ring is full, the messages are dropped; their senders send them again.
 func (g *Group[S, C]) Step(messages []raft.Message) {
 	g.ring.TryPut(input{kind: inputMessages, op: "step", messages: messages})
 }
 
-// Status returns a report of this member.
+// Status returns the status of this member.
 func (g *Group[S, C]) Status(ctx context.Context) (Status, error) {
 	a, err := g.call(ctx, input{kind: inputStatus, op: "status"}, KindCanceled)
 	return a.status, err
 }
 
-// Join asks the leader to add a member and returns the member list once it is
-// in it; a new member learns from it where the others are. A
-// listed member of the same name whose identity no longer answers is removed
-// first. The leader promotes the new member when it has caught up.
+// Join adds a member and returns the member list once it contains the member; a
+// new member takes the addresses of the others from it. A listed member that has
+// the same name and another ID is removed first, once it is no longer active.
+// The leader promotes the new member to a voter when it has caught up. Join must
+// be called on the leader.
 func (g *Group[S, C]) Join(ctx context.Context, m raft.Member) ([]raft.Member, error) {
 	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
 }
 
-// Remove asks the leader to remove a member and returns nil once it is done.
+// Remove removes a member and returns nil once the removal is committed. It must
+// be called on the leader.
 func (g *Group[S, C]) Remove(ctx context.Context, id raft.MemberID) error {
 	_, err := g.call(ctx, input{kind: inputRemove, op: "remove", member: raft.Member{ID: id}}, KindOutcomeUnknown)
 	return err
--- a/core/coord/group/doc.go
+++ b/core/coord/group/doc.go
@@ -1,5 +1,6 @@
-// Package group is the duty that runs one member of the control group. Its
-// goroutine owns the consensus, the replicated state and the storage; others
-// reach them through one bounded ring. All input that waits is taken before
-// the next write, so that one sync serves a batch of proposals.
+// Package group runs one member of the control group. The goroutine of its event
+// loop owns the Raft node, the replicated state and the storage; other
+// goroutines reach them through one bounded ring of inputs. All queued inputs
+// are handled before the next write, so that one sync covers a batch of
+// proposals.
 package group
--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -6,31 +6,34 @@
 	"camphorridge/core/state/raft"
 )
 
-// Kind tells errors apart.
+// Kind classifies an Error.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindNotLeader: only the leader can do this; nothing was done.
+	// KindNotLeader means that only the leader can perform the operation;
+	// nothing was done.
 	KindNotLeader Kind = iota
-	// KindBusy: the ring or the list of waiting proposals is full; nothing was
-	// done.
+	// KindBusy means that the ring or the list of pending proposals or reads is
+	// full; nothing was done.
 	KindBusy
-	// KindDisk: this member's disk fails; nothing was done.
+	// KindDisk means that writes to this member's disk fail; nothing was done.
 	KindDisk
-	// KindPending: another membership change is under way; nothing was done.
+	// KindPending means that another membership change is in progress; nothing
+	// was done.
 	KindPending
-	// KindInvalid: the request contradicts the state of the group; nothing was
-	// done.
+	// KindInvalid means that the request contradicts the state of the group;
+	// nothing was done.
 	KindInvalid
-	// KindStopped: the duty has ended; nothing was done.
+	// KindStopped means that the event loop has ended; nothing was done.
 	KindStopped
-	// KindCanceled: the caller's context ended before a read or a query.
+	// KindCanceled means that the caller's context ended, or the member stopped,
+	// before an operation that changes nothing was complete.
 	KindCanceled
-	// KindOutcomeUnknown: the change may have been applied or may still be. A resend
-	// with the same request identity tells.
+	// KindOutcomeUnknown means that the change may have been applied or may
+	// still be applied. A resend with the same request ID returns the result.
 	KindOutcomeUnknown
-	// KindCorrupt: stored or replicated data cannot be decoded.
+	// KindCorrupt means that stored or replicated data cannot be decoded.
 	KindCorrupt
 )
 
@@ -38,7 +41,7 @@
 	"not-leader", "busy", "disk", "pending", "invalid", "stopped", "canceled", "outcome-unknown", "corrupt",
 }
 
-// String returns the name used in reports.
+// String returns the name of the kind as used in reports.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "unknown"
@@ -50,13 +53,13 @@
 type Error struct {
 	Op   string
 	Kind Kind
-	// Leader is where to send the request instead, with KindNotLeader; its ID
-	// is 0 when no leader is known.
+	// Leader is set with KindNotLeader to the member to which the request should
+	// be sent instead. Its ID is 0 if no leader is known.
 	Leader raft.Member
 	Err    error
 }
 
-// Error returns the operation, the kind and the cause.
+// Error formats the operation, the kind and the cause.
 func (e *Error) Error() string { return fmt.Sprintf("group %s: %s: %v", e.Op, e.Kind, e.Err) }
 
 // Unwrap returns the cause.
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -10,22 +10,22 @@
 	"camphorridge/core/state/ring"
 )
 
-// Storage keeps the member's durable state. Every write is synced on return
-// and is repeated with the same arguments after an error.
+// Storage stores the durable state of the member. Every write must be synced
+// when it returns. After an error it is retried with the same arguments.
 type Storage interface {
-	// Save writes the hard state, when given, and then replaces all entries
-	// from entries[0].Index on.
+	// Save writes the hard state, unless it is nil, and then replaces all
+	// entries with an index of entries[0].Index or higher.
 	Save(hard *raft.HardState, entries []raft.Entry) error
 	// Install replaces the snapshot and the whole log.
 	Install(meta raft.SnapshotMeta, data []byte) error
-	// Snapshot writes a snapshot of the local state and drops the entries that
-	// it contains.
+	// Snapshot writes a snapshot of the local state and removes the entries that
+	// it covers.
 	Snapshot(meta raft.SnapshotMeta, data []byte) error
 	// ReadSnapshot returns the latest snapshot.
 	ReadSnapshot() (raft.SnapshotMeta, []byte, error)
 }
 
-// Codec maps changes and the state to bytes and back.
+// Codec encodes and decodes changes and the replicated state.
 type Codec interface {
 	EncodeChange(model.Change) []byte
 	DecodeChange([]byte) (model.Change, error)
@@ -33,64 +33,66 @@
 	DecodeState([]byte) (*fleet.State, error)
 }
 
-// Config sets up the duty. Values below 1 take the smallest sensible value.
+// Config configures a Group. New raises values that are too small to the
+// smallest valid value.
 type Config struct {
 	Raft raft.Config
-	// TickInterval is the time between two looks at the clock; at most half of the
-	// heartbeat interval.
+	// TickInterval is the interval at which timeouts are checked. New caps it at
+	// half of the heartbeat interval.
 	TickInterval clock.Millis
-	// RingCapacity is the number of inputs that may wait.
+	// RingCapacity is the number of inputs that may be queued for the event loop.
 	RingCapacity int
-	// MaxPending is the number of proposals that may wait for their commit,
-	// and of reads that may wait for their confirmation.
+	// MaxPending is the number of proposals that may wait for their commit, and
+	// also the number of reads that may wait for their confirmation.
 	MaxPending int
 	// SnapshotEntries is the number of applied entries between two snapshots.
 	SnapshotEntries uint64
-	// RetryDelay is the time between two tries on a failing disk.
+	// RetryDelay is the delay before a failed write is retried.
 	RetryDelay clock.Millis
-	// Send passes messages on to the senders. It must not wait: a message that
-	// finds no room is dropped and repeated later.
+	// Send passes messages to the transport. It must not block; a message that
+	// does not fit in the transport's buffer is dropped, and Raft sends it again
+	// later.
 	Send func([]raft.Message)
-	// Observe, when set, is called inside the duty after a change of role,
-	// term, leader, member list or disk state. It must not wait and must not
-	// call the group.
+	// Observe, if set, is called in the event loop after a change of the role,
+	// term, leader, member list or disk state. It must not block or call the
+	// Group.
 	Observe func(Status)
 }
 
-// Group is the duty of one member.
+// Group runs the event loop of one member.
 type Group[S Storage, C Codec] struct {
-	cfg     Config
-	clock   clock.Clock
-	storage S
-	codec   C
-	ring    *ring.Ring[input]
-	stop    chan struct{}
-	once    sync.Once
-	done    chan struct{}
-
-	// What follows is touched by the duty's goroutine alone.
+	cfg      Config
+	clock    clock.Clock
+	storage  S
+	codec    C
+	ring     *ring.Ring[input]
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+
+	// The fields below are accessed only by the goroutine of the event loop.
 	node  *raft.Node
 	state *fleet.State
-	// applied is the index of the last entry applied; it only grows.
+	// applied is the index of the last applied entry; it never decreases.
 	applied uint64
-	// snapped is the index of the latest snapshot on disk; at most applied.
-	snapped     uint64
-	nextSnap    clock.Millis
-	waiting     map[uint64]waiter
-	reads       map[uint64]chan answer
-	lastRead    uint64
-	joins       []input
-	watchers    []watcher
-	seen        view
-	failed      *raft.Output
-	failure     error
-	retryAt     clock.Millis
-	counts      Counts
-	terminalErr error
+	// snapshotIndex is the index of the latest snapshot on disk; at most applied.
+	snapshotIndex    uint64
+	nextSnapshot     clock.Millis
+	pendingProposals map[uint64]pendingProposal
+	pendingReads     map[uint64]chan answer
+	lastReadContext  uint64
+	pendingJoins     []input
+	watchers         []watcher
+	observed         observedState
+	failedOutput     *raft.Output
+	writeErr         error
+	retryAt          clock.Millis
+	counts           Counts
+	terminalErr      error
 }
 
-// waiter is a proposal that waits for its commit.
-type waiter struct {
+// pendingProposal is a proposal that waits for its commit.
+type pendingProposal struct {
 	op    string
 	term  uint64
 	reply chan answer
@@ -98,65 +100,68 @@
 
 type watcher struct {
 	after model.Version
-	fire  chan struct{}
+	fired chan struct{}
 	done  <-chan struct{}
 }
 
-// Counts are counters since the start; they only grow.
+// Counts holds counters since the start of the member; they never decrease.
 type Counts struct {
-	// Proposals were appended on this member as leader, and Saves is the
-	// number of synced writes that carried them and all else.
+	// Proposals counts the entries that this member appended for callers as
+	// leader, and LogWrites the synced writes of hard states and entries.
 	Proposals int64
 	LogWrites int64
 	Applied   int64
-	// DiskFailures counts failed writes, and SnapshotFailures failed local
-	// snapshots and failed reads of one.
+	// DiskFailures counts failed writes, and SnapshotFailures counts failed
+	// writes of local snapshots and failed reads of snapshots.
 	DiskFailures       int64
 	SnapshotFailures   int64
 	Snapshots          int64
 	InstalledSnapshots int64
-	// RefusedInputs counts inputs that found the ring full.
+	// RefusedInputs counts inputs that were refused because the ring was full.
 	RefusedInputs int64
-	// DroppedMessages counts peer messages that were ignored while the disk failed.
+	// DroppedMessages counts peer messages that were dropped while the disk
+	// failed.
 	DroppedMessages int64
-	// InvalidMessages counts peer messages that contradicted committed entries.
+	// InvalidMessages counts peer messages that contradicted committed entries or
+	// named a second leader of a term.
 	InvalidMessages int64
 	// OutcomesUnknown counts proposals that ended with an unknown outcome.
 	OutcomesUnknown int64
 }
 
-// Status is a report of the member.
+// Status reports the state of the member.
 type Status struct {
 	Self raft.MemberID
 	Role raft.Role
 	Term uint64
-	// Leader has the ID 0 when no leader is known.
+	// Leader has the ID 0 if no leader is known.
 	Leader        raft.Member
 	Commit        uint64
 	Applied       uint64
 	SnapshotIndex uint64
 	Version       model.Version
 	Members       []raft.Member
-	// Peers is set on the leader.
+	// Peers is nil unless this member is the leader.
 	Peers            []raft.PeerStatus
 	PendingProposals int
-	// DiskError is the error of the last failed write while the disk fails.
+	// DiskError is the error of the last failed write while writes fail, and
+	// otherwise empty.
 	DiskError string
 	Counts    Counts
 }
 
-// view is what the duty last reported and acted on.
-type view struct {
+// observedState is the part of the state whose changes are reported to Observe.
+type observedState struct {
 	role   raft.Role
 	term   uint64
 	leader raft.MemberID
-	// members is the index of the member list in force.
-	members uint64
-	failed  bool
+	// membersIndex is the index of the entry that set the current member list.
+	membersIndex uint64
+	diskFailed   bool
 }
 
-// New returns the duty for a member with the given stored state. The error is
-// of kind disk or corrupt.
+// New returns a Group for a member with the given stored state. The error has
+// KindDisk or KindCorrupt.
 func New[S Storage, C Codec](cfg Config, stored raft.StoredState, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
 	cfg.RingCapacity = max(cfg.RingCapacity, 16)
 	cfg.MaxPending = max(cfg.MaxPending, 1)
@@ -168,14 +173,14 @@
 	}
 	g := &Group[S, C]{
 		cfg: cfg, clock: clk, storage: storage, codec: codec,
-		ring:    ring.New[input](cfg.RingCapacity),
-		stop:    make(chan struct{}),
-		done:    make(chan struct{}),
-		state:   fleet.New(),
-		applied: stored.Snapshot.Index,
-		snapped: stored.Snapshot.Index,
-		waiting: map[uint64]waiter{},
-		reads:   map[uint64]chan answer{},
+		ring:             ring.New[input](cfg.RingCapacity),
+		stop:             make(chan struct{}),
+		done:             make(chan struct{}),
+		state:            fleet.New(),
+		applied:          stored.Snapshot.Index,
+		snapshotIndex:    stored.Snapshot.Index,
+		pendingProposals: map[uint64]pendingProposal{},
+		pendingReads:     map[uint64]chan answer{},
 	}
 	if stored.Snapshot.Index > 0 {
 		if err := g.loadSnapshot(stored.Snapshot.Index); err != nil {
@@ -189,10 +194,10 @@
 func (g *Group[S, C]) loadSnapshot(index uint64) error {
 	meta, data, err := g.storage.ReadSnapshot()
 	if err != nil {
-		return failf("start", KindDisk, "read the snapshot: %w", err)
+		return failf("start", KindDisk, "read the stored snapshot: %w", err)
 	}
 	if meta.Index != index {
-		return failf("start", KindCorrupt, "the snapshot is at index %d, not %d", meta.Index, index)
+		return failf("start", KindCorrupt, "the stored snapshot is at index %d, expected %d", meta.Index, index)
 	}
 	if g.state, err = g.codec.DecodeState(data); err != nil {
 		return failf("start", KindCorrupt, "decode the snapshot at index %d: %w", index, err)
@@ -200,12 +205,12 @@
 	return nil
 }
 
-// Run is the duty. It returns nil after Stop, or an error of kind corrupt when
-// a committed entry cannot be decoded: a member that skipped it would differ
-// from the others.
+// Run runs the event loop. It returns nil after Stop. It returns an error with
+// KindCorrupt if a committed entry cannot be decoded: if the member skipped the
+// entry, its state would diverge from that of the other members.
 func (g *Group[S, C]) Run() error {
 	defer close(g.done)
-	defer g.abandon()
+	defer g.failAll()
 	tick := g.clock.After(g.cfg.TickInterval)
 	batch := make([]input, 0, g.cfg.RingCapacity)
 	for g.terminalErr == nil {
@@ -215,7 +220,7 @@
 		case in := <-g.ring.C():
 			batch = g.ring.Drain(append(batch[:0], in), g.cfg.RingCapacity)
 			for _, in := range batch {
-				g.take(in)
+				g.handle(in)
 			}
 			clear(batch)
 		case <-tick:
@@ -227,15 +232,16 @@
 	return g.terminalErr
 }
 
-// Stop ends the duty; it does not wait. It may be called more than once.
-func (g *Group[S, C]) Stop() { g.once.Do(func() { close(g.stop) }) }
+// Stop ends the event loop without waiting for it. It may be called more than
+// once.
+func (g *Group[S, C]) Stop() { g.stopOnce.Do(func() { close(g.stop) }) }
 
-// Done is closed when the duty has ended.
+// Done returns a channel that is closed when the event loop has ended.
 func (g *Group[S, C]) Done() <-chan struct{} { return g.done }
 
-// abandon answers everyone who still waits.
-func (g *Group[S, C]) abandon() {
-	g.failWaiting("the member stopped")
+// failAll fails all pending and queued requests when the event loop ends.
+func (g *Group[S, C]) failAll() {
+	g.failPending("the member stopped")
 	for _, in := range g.ring.Drain(nil, g.cfg.RingCapacity) {
 		in.answer(answer{err: failf(in.op, KindStopped, "the member stopped")})
 	}
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -14,7 +14,7 @@
 	"camphorridge/core/state/raft"
 )
 
-// outcome is the end of a proposal that ran in its own goroutine.
+// outcome is the result of a proposal made in its own goroutine.
 type outcome struct {
 	result model.Result
 	err    error
@@ -27,7 +27,7 @@
 	}
 }
 
-// propose starts a proposal and returns where it ends.
+// propose starts a proposal and returns the channel of its outcome.
 func (c *cluster) propose(id raft.MemberID, change model.Change) <-chan outcome {
 	ch := make(chan outcome, 1)
 	g := c.group(id)
@@ -38,9 +38,9 @@
 	return ch
 }
 
-func (c *cluster) wait(ch <-chan outcome) (o outcome) {
+func (c *cluster) awaitOutcome(ch <-chan outcome) (o outcome) {
 	c.t.Helper()
-	c.until("the end of a proposal", func() bool {
+	c.until("the proposal is answered", func() bool {
 		select {
 		case o = <-ch:
 			return true
@@ -68,9 +68,8 @@
 	return slices.DeleteFunc([]raft.MemberID{1, 2, 3}, func(x raft.MemberID) bool { return x == id })
 }
 
-// TestCommit guards against a change that is lost between the members, a
-// follower that accepts proposals, a watch that never fires, and one sync for
-// each proposal of a batch.
+// TestCommit guards against a change that is not replicated to every member, a
+// follower that accepts proposals or reads, and a watch that never fires.
 func TestCommit(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
@@ -83,20 +82,20 @@
 		ends = append(ends, c.propose(lead, apply(fmt.Sprint("c", i), "")))
 	}
 	for _, end := range ends {
-		o := c.wait(end)
+		o := c.awaitOutcome(end)
 		assert.NilError(t, o.err)
 		assert.Equal(t, o.result.Kind, model.ResultApplied)
 	}
-	c.until("the watch", func() bool { return isClosed(fire) })
+	c.until("the watch fires", func() bool { return isClosed(fire) })
 	for _, id := range []raft.MemberID{1, 2, 3} {
-		c.until("the state", func() bool { return c.contracts(id) == 100 })
+		c.until("all changes are applied", func() bool { return c.contracts(id) == 100 })
 	}
 	s := c.status(lead)
 	assert.Assert(t, s.Counts.Snapshots > 0)
 	assert.Equal(t, s.Counts.Proposals, int64(100))
 
-	c.until("the leader's name", func() bool { return c.status(follower).Leader.ID == lead })
-	o := c.wait(c.propose(follower, apply("x", "")))
+	c.until("the follower knows the leader", func() bool { return c.status(follower).Leader.ID == lead })
+	o := c.awaitOutcome(c.propose(follower, apply("x", "")))
 	kind, leader := kindOf(o.err)
 	assert.Equal(t, kind, KindNotLeader)
 	assert.Equal(t, leader.ID, lead)
@@ -105,7 +104,8 @@
 	assert.NilError(t, c.group(lead).ReadBarrier(t.Context()))
 }
 
-// TestBatch guards against a sync for each proposal: those that wait share one.
+// TestBatch guards against one sync per proposal: queued proposals must share a
+// write.
 func TestBatch(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
@@ -122,65 +122,66 @@
 	for i := range 50 {
 		ends = append(ends, c.propose(lead, apply(fmt.Sprint("c", i), "")))
 	}
-	c.until("50 waiting proposals", func() bool { return g.ring.Len() >= 50 })
+	c.until("50 proposals are queued", func() bool { return g.ring.Len() >= 50 })
 	close(hold)
 	for _, end := range ends {
-		assert.NilError(t, c.wait(end).err)
+		assert.NilError(t, c.awaitOutcome(end).err)
 	}
 	disk := c.disks[lead]
 	disk.mu.Lock()
 	defer disk.mu.Unlock()
-	assert.Assert(t, disk.largest >= 50, "the largest write holds %d entries", disk.largest)
+	assert.Assert(t, disk.maxBatch >= 50, "the largest write holds %d entries", disk.maxBatch)
 }
 
-// TestLeaderLoss guards against a leader that reports "not applied" for a
-// change whose fate it does not know, against a read on its old state, and
-// against a resend that is applied twice.
+// TestLeaderLoss guards against a partitioned leader that reports a change of
+// unknown outcome as not applied or answers a read from stale state, and against
+// a resend that is applied twice.
 func TestLeaderLoss(t *testing.T) {
 	c := newCluster(t, 3)
 	old := c.leader(1, 2, 3)
-	first := c.wait(c.propose(old, apply("a", "request-1")))
+	first := c.awaitOutcome(c.propose(old, apply("a", "request-1")))
 	assert.NilError(t, first.err)
 
-	c.links.cut(old, true)
+	c.network.setPartitioned(old, true)
 	end := c.propose(old, apply("b", "request-2"))
 	read := make(chan error, 1)
 	go func() { read <- c.group(old).ReadBarrier(context.Background()) }()
 	lead := c.leader(others(old)...)
-	kind, _ := kindOf(c.wait(end).err)
+	kind, _ := kindOf(c.awaitOutcome(end).err)
 	assert.Assert(t, kind == KindOutcomeUnknown || kind == KindNotLeader)
 	assert.Assert(t, <-read != nil)
 
-	again := c.wait(c.propose(lead, apply("a", "request-1")))
+	again := c.awaitOutcome(c.propose(lead, apply("a", "request-1")))
 	assert.NilError(t, again.err)
 	assert.DeepEqual(t, again.result, first.result)
-	assert.NilError(t, c.wait(c.propose(lead, apply("b", "request-2"))).err)
-	c.links.cut(old, false)
-	c.until("the old leader's state", func() bool { return c.contracts(old) == 2 })
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("b", "request-2"))).err)
+	c.network.setPartitioned(old, false)
+	c.until("the old leader applies both changes", func() bool { return c.contracts(old) == 2 })
 }
 
-// TestDisk guards against a member with a full disk that acknowledges, keeps
-// the leadership, or does not return once there is room.
+// TestDisk guards against a member with a full disk that acknowledges proposals,
+// remains the leader, or does not recover once writes succeed again.
 func TestDisk(t *testing.T) {
 	c := newCluster(t, 3)
 	bad := c.leader(1, 2, 3)
-	assert.NilError(t, c.wait(c.propose(bad, apply("a", ""))).err)
-	c.disks[bad].broken.Store(true)
-	kind, _ := kindOf(c.wait(c.propose(bad, apply("b", "request-2"))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(bad, apply("a", ""))).err)
+	c.disks[bad].failing.Store(true)
+	kind, _ := kindOf(c.awaitOutcome(c.propose(bad, apply("b", "request-2"))).err)
 	assert.Equal(t, kind, KindOutcomeUnknown)
-	kind, _ = kindOf(c.wait(c.propose(bad, apply("c", ""))).err)
+	kind, _ = kindOf(c.awaitOutcome(c.propose(bad, apply("c", ""))).err)
 	assert.Equal(t, kind, KindDisk)
 
 	lead := c.leader(others(bad)...)
-	assert.NilError(t, c.wait(c.propose(lead, apply("b", "request-2"))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("b", "request-2"))).err)
 	c.until("retries", func() bool { return c.status(bad).Counts.DiskFailures > 2 })
 	assert.Assert(t, c.status(bad).DiskError != "")
 	assert.Equal(t, c.contracts(bad), 1)
-	c.disks[bad].broken.Store(false)
-	c.until("the return", func() bool { return c.contracts(bad) == 2 && c.status(bad).DiskError == "" })
+	c.disks[bad].failing.Store(false)
+	c.until("the member recovers", func() bool { return c.contracts(bad) == 2 && c.status(bad).DiskError == "" })
 }
 
-// join adds a member and waits until it votes and the group has the size.
+// join adds a member and waits until it is a voter and the group has size
+// members.
 func (c *cluster) join(lead raft.MemberID, m raft.Member, size int) {
 	c.t.Helper()
 	joined := make(chan error, 1)
@@ -191,56 +192,56 @@
 		}
 		joined <- err
 	}()
-	c.until("the promotion", func() bool {
+	c.until("the member is promoted", func() bool {
 		i := slices.IndexFunc(c.status(lead).Members, func(x raft.Member) bool { return x.ID == m.ID && x.Voter })
 		return i >= 0 && len(c.status(lead).Members) == size
 	})
 	assert.NilError(c.t, <-joined)
 }
 
-// TestGrow guards against a group that cannot start from one member: the
-// identities of the others are not known before they join.
+// TestGrow guards against a group that cannot grow from a single member. The IDs
+// of the other members are not known before they join.
 func TestGrow(t *testing.T) {
 	c := newCluster(t, 1)
 	lead := c.leader(1)
-	assert.NilError(t, c.wait(c.propose(lead, apply("a", ""))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("a", ""))).err)
 	for id := raft.MemberID(2); id <= 3; id++ {
 		m := raft.Member{ID: id, Name: model.Process(fmt.Sprint("member", id))}
-		c.start(m, &memory{stored: raft.StoredState{Self: m}})
+		c.start(m, &memStorage{stored: raft.StoredState{Self: m}})
 		c.join(lead, m, int(id))
 	}
-	c.links.cut(1, true)
+	c.network.setPartitioned(1, true)
 	lead = c.leader(2, 3)
 	assert.Equal(t, c.contracts(lead), 1)
 }
 
 // TestCorrupt guards against a member that skips a committed entry that it
-// cannot decode, and then differs from the others.
+// cannot decode, so that its state diverges from that of the others.
 func TestCorrupt(t *testing.T) {
 	self := raft.Member{ID: 1, Voter: true}
-	disk := &memory{stored: raft.StoredState{
+	disk := &memStorage{stored: raft.StoredState{
 		Self: self, Hard: raft.HardState{Term: 1, Commit: 1},
 		Snapshot: raft.SnapshotMeta{Members: []raft.Member{self}},
 		Entries:  []raft.Entry{{Index: 1, Term: 1, Data: []byte("no change")}},
 	}}
 	c := newCluster(t, 1)
-	g, err := New(Config{}, disk.stored, disk, plain{}, c.fake.Clock())
+	g, err := New(Config{}, disk.stored, disk, jsonCodec{}, c.clock.Clock())
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run() }()
-	c.until("the end", func() bool { return isClosed(g.Done()) })
+	c.until("the event loop ends", func() bool { return isClosed(g.Done()) })
 	kind, _ := kindOf(<-ended)
 	assert.Equal(t, kind, KindCorrupt)
 }
 
-// TestJoin guards against a member with a new identity that is not replaced,
-// caught up by a snapshot and promoted, and against a group that cannot then
-// lose another member.
+// TestJoin guards against a member that rejoins with a new ID and does not
+// replace its old ID, catch up by a snapshot and become a voter, and against a
+// group that cannot tolerate the loss of another member afterwards.
 func TestJoin(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
 	for i := range 60 {
-		assert.NilError(t, c.wait(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
+		assert.NilError(t, c.awaitOutcome(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
 	}
 	lost := others(lead)[0]
 	name := c.status(lead).Members[lost-1].Name
@@ -248,22 +249,21 @@
 	<-c.group(lost).Done()
 
 	m := raft.Member{ID: 9, Name: name}
-	c.start(m, &memory{stored: raft.StoredState{Self: m}})
+	c.start(m, &memStorage{stored: raft.StoredState{Self: m}})
 	c.join(lead, m, 3)
-	c.until("the state", func() bool { return c.contracts(9) == 60 })
+	c.until("the new member has the state", func() bool { return c.contracts(9) == 60 })
 	assert.Equal(t, c.status(9).Counts.InstalledSnapshots, int64(1))
 
-	c.links.cut(others(lead)[1], true)
-	assert.NilError(t, c.wait(c.propose(lead, apply("last", ""))).err)
+	c.network.setPartitioned(others(lead)[1], true)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("last", ""))).err)
 }
 
-// TestRestart guards against a member that starts with less than it had
-// acknowledged.
+// TestRestart guards against a restart that loses acknowledged changes.
 func TestRestart(t *testing.T) {
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
 	for i := range 30 {
-		assert.NilError(t, c.wait(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
+		assert.NilError(t, c.awaitOutcome(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
 	}
 	for id := range raft.MemberID(3) {
 		c.group(id + 1).Stop()
@@ -275,5 +275,5 @@
 		c.start(raft.Member{ID: id + 1}, c.disks[id+1])
 	}
 	lead = c.leader(1, 2, 3)
-	c.until("the state", func() bool { return c.contracts(lead) == 30 })
+	c.until("all changes are restored", func() bool { return c.contracts(lead) == 30 })
 }
--- a/core/coord/group/take.go
+++ b/core/coord/group/handle.go
@@ -7,9 +7,9 @@
 	"camphorridge/core/state/raft"
 )
 
-// take handles one input. Inputs whose caller has left are skipped.
-func (g *Group[S, C]) take(in input) {
-	if in.gone() {
+// handle handles one input. Inputs whose caller no longer waits are skipped.
+func (g *Group[S, C]) handle(in input) {
+	if in.abandoned() {
 		return
 	}
 	switch in.kind {
@@ -25,7 +25,7 @@
 		in.answer(answer{})
 		return
 	}
-	if g.failed != nil {
+	if g.failedOutput != nil {
 		g.refuse(in)
 		return
 	}
@@ -37,20 +37,20 @@
 	case inputRead:
 		g.read(in)
 	case inputJoin:
-		g.joins = append(g.joins, in)
-		g.repair()
+		g.pendingJoins = append(g.pendingJoins, in)
+		g.reconcileMembers()
 	case inputRemove:
 		g.changeMembers(in, raft.MemberChange{Kind: raft.RemoveMember, Member: in.member})
 	}
 }
 
-// refuse turns an input away while the disk fails.
+// refuse rejects an input while writes to the disk fail.
 func (g *Group[S, C]) refuse(in input) {
 	if in.kind == inputMessages {
 		g.counts.DroppedMessages += int64(len(in.messages))
 		return
 	}
-	in.answer(answer{err: failf(in.op, KindDisk, "%w", g.failure)})
+	in.answer(answer{err: failf(in.op, KindDisk, "%w", g.writeErr)})
 }
 
 func (g *Group[S, C]) propose(in input) {
@@ -59,42 +59,43 @@
 		in.answer(answer{err: g.notLeader(in.op)})
 		return
 	}
-	if len(g.waiting) >= g.cfg.MaxPending {
-		in.answer(answer{err: failf(in.op, KindBusy, "%d proposals wait for their commit", len(g.waiting))})
+	if len(g.pendingProposals) >= g.cfg.MaxPending {
+		in.answer(answer{err: failf(in.op, KindBusy, "%d proposals wait for commit", len(g.pendingProposals))})
 		return
 	}
 	in.change.Time = now
 	index, term, err := g.node.Propose(g.codec.EncodeChange(in.change), now)
-	g.await(in, index, term, err)
+	g.addPending(in, index, term, err)
 }
 
 // changeMembers proposes one membership change.
 func (g *Group[S, C]) changeMembers(in input, c raft.MemberChange) {
 	index, term, err := g.node.ChangeMembers(c, g.clock.Now())
-	g.await(in, index, term, err)
+	g.addPending(in, index, term, err)
 }
 
-// await notes who waits for an index, or answers with the error.
-func (g *Group[S, C]) await(in input, index, term uint64, err error) {
+// addPending registers the caller that waits for the entry at index, or answers
+// with err if it is not nil.
+func (g *Group[S, C]) addPending(in input, index, term uint64, err error) {
 	if err != nil {
 		in.answer(answer{err: g.translate(in.op, err)})
 		return
 	}
 	g.counts.Proposals++
-	g.waiting[index] = waiter{op: in.op, term: term, reply: in.reply}
+	g.pendingProposals[index] = pendingProposal{op: in.op, term: term, reply: in.reply}
 }
 
 func (g *Group[S, C]) read(in input) {
-	if len(g.reads) >= g.cfg.MaxPending {
-		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for their confirmation", len(g.reads))})
+	if len(g.pendingReads) >= g.cfg.MaxPending {
+		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for confirmation", len(g.pendingReads))})
 		return
 	}
-	g.lastRead++
-	if err := g.node.ReadIndex(g.lastRead, g.clock.Now()); err != nil {
+	g.lastReadContext++
+	if err := g.node.ReadIndex(g.lastReadContext, g.clock.Now()); err != nil {
 		in.answer(answer{err: g.translate(in.op, err)})
 		return
 	}
-	g.reads[g.lastRead] = in.reply
+	g.pendingReads[g.lastReadContext] = in.reply
 }
 
 func (g *Group[S, C]) step(messages []raft.Message) {
@@ -106,31 +107,32 @@
 	}
 }
 
-// tick passes the time on, or tries the failed write again.
+// tick advances the time of the Raft node, or retries a failed write, and
+// removes the watches and joins whose caller no longer waits.
 func (g *Group[S, C]) tick() {
 	now := g.clock.Now()
 	g.watchers = slices.DeleteFunc(g.watchers, func(w watcher) bool { return isClosed(w.done) })
-	g.joins = slices.DeleteFunc(g.joins, func(in input) bool { return in.gone() })
-	if g.failed == nil {
+	g.pendingJoins = slices.DeleteFunc(g.pendingJoins, func(in input) bool { return in.abandoned() })
+	if g.failedOutput == nil {
 		g.node.Tick(now)
-		g.repair()
+		g.reconcileMembers()
 		return
 	}
 	if now >= g.retryAt {
-		out := g.failed
-		g.failed = nil
+		out := g.failedOutput
+		g.failedOutput = nil
 		g.perform(out)
 	}
 }
 
 func (g *Group[S, C]) notLeader(op string) error {
 	leader := g.member(g.node.Leader())
-	err := failf(op, KindNotLeader, "member %x is a %s and follows %q", g.node.Self(), g.node.Role(), leader.Name).(*Error)
+	err := failf(op, KindNotLeader, "member %x is a %s; the leader is %q", g.node.Self(), g.node.Role(), leader.Name).(*Error)
 	err.Leader = leader
 	return err
 }
 
-// translate maps errors of the consensus.
+// translate converts an error of the Raft node to an *Error of this package.
 func (g *Group[S, C]) translate(op string, err error) error {
 	var e *raft.Error
 	if errors.As(err, &e) {
@@ -156,40 +158,42 @@
 func (g *Group[S, C]) status() Status {
 	s := Status{
 		Self: g.node.Self(), Role: g.node.Role(), Term: g.node.Term(), Leader: g.member(g.node.Leader()),
-		Commit: g.node.Commit(), Applied: g.applied, SnapshotIndex: g.snapped, Version: g.state.Version,
-		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), PendingProposals: len(g.waiting), Counts: g.counts,
+		Commit: g.node.Commit(), Applied: g.applied, SnapshotIndex: g.snapshotIndex, Version: g.state.Version,
+		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), PendingProposals: len(g.pendingProposals), Counts: g.counts,
 	}
 	s.Counts.RefusedInputs = g.ring.Refused()
-	if g.failed != nil {
-		s.DiskError = g.failure.Error()
+	if g.failedOutput != nil {
+		s.DiskError = g.writeErr.Error()
 	}
 	return s
 }
 
-// failWaiting ends what waits for a leadership that is over. Proposals may
-// still be committed by the next leader.
-func (g *Group[S, C]) failWaiting(reason string) {
-	for index, w := range g.waiting {
+// failPending fails all proposals, reads and joins that wait for this member's
+// leadership. Their error has KindOutcomeUnknown, or KindNotLeader for reads:
+// the next leader may still commit the proposals.
+func (g *Group[S, C]) failPending(reason string) {
+	for index, w := range g.pendingProposals {
 		g.counts.OutcomesUnknown++
 		w.reply <- answer{err: failf(w.op, KindOutcomeUnknown, "%s before entry %d was committed", reason, index)}
 	}
-	clear(g.waiting)
-	for _, reply := range g.reads {
+	clear(g.pendingProposals)
+	for _, reply := range g.pendingReads {
 		reply <- answer{err: g.notLeader("read")}
 	}
-	clear(g.reads)
-	for _, in := range g.joins {
+	clear(g.pendingReads)
+	for _, in := range g.pendingJoins {
 		in.answer(answer{err: failf(in.op, KindOutcomeUnknown, "%s", reason)})
 	}
-	g.joins = nil
+	g.pendingJoins = nil
 }
 
-// fireWatchers wakes those who wait for a version below the current one.
+// fireWatchers closes the channels of the watches whose version is below the
+// current one, and removes these watches.
 func (g *Group[S, C]) fireWatchers() {
 	g.watchers = slices.DeleteFunc(g.watchers, func(w watcher) bool {
 		fire := g.state.Version > w.after
 		if fire {
-			close(w.fire)
+			close(w.fired)
 		}
 		return fire
 	})
--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -6,10 +6,10 @@
 	"camphorridge/core/state/raft"
 )
 
-// repair makes the next membership change that joins or caught-up members
-// call for. The consensus allows one at a time; the rest follows with the next
-// ticks.
-func (g *Group[S, C]) repair() {
+// reconcileMembers makes the next membership change for a pending join or the
+// promotion of a member that has caught up. Raft allows one change at a time;
+// the others are made at the next ticks.
+func (g *Group[S, C]) reconcileMembers() {
 	if g.node.Role() != raft.RoleLeader {
 		g.refuseJoins()
 		return
@@ -17,7 +17,7 @@
 	if g.node.MembersPending() {
 		return
 	}
-	g.joins = slices.DeleteFunc(g.joins, g.join)
+	g.pendingJoins = slices.DeleteFunc(g.pendingJoins, g.advanceJoin)
 	for _, p := range g.node.Peers() {
 		if !p.Member.Voter && p.CaughtUp && g.tryChange(raft.PromoteMember, p.Member) == nil {
 			return
@@ -26,16 +26,17 @@
 }
 
 func (g *Group[S, C]) refuseJoins() {
-	for _, in := range g.joins {
+	for _, in := range g.pendingJoins {
 		in.answer(answer{err: g.notLeader(in.op)})
 	}
-	g.joins = nil
+	g.pendingJoins = nil
 }
 
-// join takes one step of a join and reports whether it is answered. The old
-// identity of a member that lost its disk is removed before the new one is
-// added: with three members the group then needs the same two disks all along.
-func (g *Group[S, C]) join(in input) bool {
+// advanceJoin performs the next step of a join and reports whether the join has
+// been answered. The old ID of a member that lost its disk is removed before the
+// new one is added: in a group of three, the quorum then consists of the same
+// two disks throughout.
+func (g *Group[S, C]) advanceJoin(in input) bool {
 	if g.node.MembersPending() {
 		return false
 	}
@@ -46,25 +47,26 @@
 		}
 	}
 	if self := g.member(g.node.Self()); self.Name == in.member.Name {
-		in.answer(answer{err: failf(in.op, KindInvalid, "the leader %x has the name %q", self.ID, self.Name)})
+		in.answer(answer{err: failf(in.op, KindInvalid, "the leader %x already has the name %q", self.ID, self.Name)})
 		return true
 	}
 	change, member := raft.AddMember, in.member
-	if old, ok := g.replaced(in.member); ok {
+	if old, ok := g.predecessor(in.member); ok {
 		if old.RecentlyActive {
 			return false
 		}
 		change, member = raft.RemoveMember, old.Member
 	}
-	err := g.translatePending(g.tryChange(change, member))
+	err := g.joinError(g.tryChange(change, member))
 	if err != nil {
 		in.answer(answer{err: err})
 	}
 	return err != nil
 }
 
-// replaced returns the listed member whose name the new one carries.
-func (g *Group[S, C]) replaced(m raft.Member) (raft.PeerStatus, bool) {
+// predecessor returns the status of the listed member that has the same name as
+// m and another ID.
+func (g *Group[S, C]) predecessor(m raft.Member) (raft.PeerStatus, bool) {
 	for _, p := range g.node.Peers() {
 		if p.Member.Name == m.Name && p.Member.ID != m.ID {
 			return p, true
@@ -78,9 +80,9 @@
 	return err
 }
 
-// translatePending maps an error of the consensus and drops one that says to
-// try again later.
-func (g *Group[S, C]) translatePending(err error) error {
+// joinError translates an error of the Raft node and returns nil for one that
+// allows a later retry.
+func (g *Group[S, C]) joinError(err error) error {
 	if err == nil {
 		return nil
 	}
--- a/core/coord/group/perform.go
+++ b/core/coord/group/output.go
@@ -5,9 +5,10 @@
 	"camphorridge/core/state/raft"
 )
 
-// flush does all that the consensus asks for.
+// flush performs all outputs of the Raft node, then writes a snapshot and
+// notifies watchers and Observe as needed.
 func (g *Group[S, C]) flush() {
-	for g.failed == nil && g.terminalErr == nil {
+	for g.failedOutput == nil && g.terminalErr == nil {
 		out := g.node.Output()
 		if out.Empty() {
 			break
@@ -16,14 +17,14 @@
 	}
 	g.snapshot()
 	g.fireWatchers()
-	g.notice()
+	g.observeChanges()
 }
 
-// perform writes an output and then does what may follow on the write.
-// Nothing is sent, applied or answered unless the write was synced.
+// perform writes an output and then sends its messages, applies its entries and
+// answers its reads. None of these happens before the write is synced.
 func (g *Group[S, C]) perform(out *raft.Output) {
 	if err := g.write(out); err != nil {
-		g.fault(out, err)
+		g.onWriteError(out, err)
 		return
 	}
 	g.node.Persisted()
@@ -37,13 +38,13 @@
 		}
 	}
 	for _, r := range out.Reads {
-		if reply, ok := g.reads[r.Context]; ok {
-			delete(g.reads, r.Context)
+		if reply, ok := g.pendingReads[r.Context]; ok {
+			delete(g.pendingReads, r.Context)
 			reply <- answer{}
 		}
 	}
 	if len(out.NeedSnapshot) > 0 {
-		g.provide(out.NeedSnapshot)
+		g.provideSnapshot(out.NeedSnapshot)
 	}
 }
 
@@ -66,23 +67,23 @@
 	}
 	g.state = state
 	g.applied = out.Install.Index
-	g.snapped = out.Install.Index
+	g.snapshotIndex = out.Install.Index
 	g.counts.InstalledSnapshots++
 	return nil
 }
 
-// fault keeps an output whose write failed for the next try. The member gives
-// up leadership and takes no part in the group until the write succeeds, so
-// that the others elect a leader whose disk works.
-func (g *Group[S, C]) fault(out *raft.Output, err error) {
+// onWriteError keeps an output whose write failed so that it can be retried. The
+// member steps down and ignores all messages until the write succeeds, so that
+// the others elect a leader whose disk works.
+func (g *Group[S, C]) onWriteError(out *raft.Output, err error) {
 	g.counts.DiskFailures++
-	g.failed = out
-	g.failure = err
+	g.failedOutput = out
+	g.writeErr = err
 	g.retryAt = g.clock.Now() + g.cfg.RetryDelay
 	g.node.StepDown()
 }
 
-// apply applies a committed entry and answers who waits for it.
+// apply applies a committed entry and answers the proposal that waits for it.
 func (g *Group[S, C]) apply(e raft.Entry) error {
 	r := model.Result{Version: model.Version(e.Index)}
 	if e.Kind == raft.EntryChange {
@@ -94,16 +95,16 @@
 	}
 	g.applied = e.Index
 	g.counts.Applied++
-	if w, ok := g.waiting[e.Index]; ok && w.term == e.Term {
-		delete(g.waiting, e.Index)
+	if w, ok := g.pendingProposals[e.Index]; ok && w.term == e.Term {
+		delete(g.pendingProposals, e.Index)
 		w.reply <- answer{result: r}
 	}
 	return nil
 }
 
-// provide answers a request for a snapshot. After a read error the consensus
-// asks again.
-func (g *Group[S, C]) provide(to []raft.MemberID) {
+// provideSnapshot passes the stored snapshot to the Raft node for the given
+// members. After a read error the node requests it again.
+func (g *Group[S, C]) provideSnapshot(to []raft.MemberID) {
 	meta, data, err := g.storage.ReadSnapshot()
 	if err != nil {
 		g.counts.SnapshotFailures++
@@ -114,11 +115,12 @@
 	}
 }
 
-// snapshot writes a local snapshot when enough was applied since the last. A
-// failure only keeps the log longer; it is tried again after a delay.
+// snapshot writes a local snapshot if SnapshotEntries entries have been applied
+// since the last one. A failure only makes the log longer; the snapshot is
+// retried after RetryDelay.
 func (g *Group[S, C]) snapshot() {
 	now := g.clock.Now()
-	if g.failed != nil || g.terminalErr != nil || g.applied-g.snapped < g.cfg.SnapshotEntries || now < g.nextSnap {
+	if g.failedOutput != nil || g.terminalErr != nil || g.applied-g.snapshotIndex < g.cfg.SnapshotEntries || now < g.nextSnapshot {
 		return
 	}
 	meta, ok := g.node.SnapshotMetaAt(g.applied)
@@ -127,28 +129,29 @@
 	}
 	if err := g.storage.Snapshot(meta, g.codec.EncodeState(g.state)); err != nil {
 		g.counts.SnapshotFailures++
-		g.nextSnap = now + g.cfg.RetryDelay
+		g.nextSnapshot = now + g.cfg.RetryDelay
 		return
 	}
-	g.snapped = meta.Index
+	g.snapshotIndex = meta.Index
 	g.counts.Snapshots++
 	g.node.Compact(meta)
 }
 
-// notice acts on a change of role, term, leader, member list or disk state.
-func (g *Group[S, C]) notice() {
-	v := view{
+// observeChanges reports a change of the role, term, leader, member list or disk
+// state, and fails the pending requests when the leadership was lost.
+func (g *Group[S, C]) observeChanges() {
+	v := observedState{
 		role: g.node.Role(), term: g.node.Term(), leader: g.node.Leader(),
-		members: g.node.MembersIndex(), failed: g.failed != nil,
+		membersIndex: g.node.MembersIndex(), diskFailed: g.failedOutput != nil,
 	}
-	if v == g.seen {
+	if v == g.observed {
 		return
 	}
-	led := g.seen.role == raft.RoleLeader
-	if led && (v.role != raft.RoleLeader || v.term != g.seen.term) {
-		g.failWaiting("the leader lost its term")
+	led := g.observed.role == raft.RoleLeader
+	if led && (v.role != raft.RoleLeader || v.term != g.observed.term) {
+		g.failPending("the member lost the leadership")
 	}
-	g.seen = v
+	g.observed = v
 	if g.cfg.Observe != nil {
 		g.cfg.Observe(g.status())
 	}
