Describe the durable store in usual terms

Doc comments state the error kinds and why each step is durable before the next. Messages about order name the found and the allowed index. The texts that TestOpenDamaged matches ('ends at entry 8, but 9', 'no meta file', 'offset N') still match unchanged.

--- a/core/state/store/bench_test.go
+++ b/core/state/store/bench_test.go
@@ -18,8 +18,8 @@
 	"camphorridge/io/proto/codec"
 )
 
-// change returns the n-th change of a fleet of two customers and 50 instances
-// whose contracts are updated by operators.
+// change returns the n-th change of a fleet of two customers and 50 instances: an
+// operator's update of a contract.
 func change(s *fleet.State, n int) model.Change {
 	name := model.Customer(fmt.Sprint("customer-", n%2))
 	return model.Change{
@@ -32,7 +32,8 @@
 	}
 }
 
-// batches returns n changes as entries from index 1 on, in batches of size.
+// batches returns n changes as entries starting at index 1, in batches of the
+// given size, and the state after them.
 func batches(n, size int) ([][]raft.Entry, *fleet.State) {
 	var wire codec.Codec
 	var out [][]raft.Entry
@@ -49,8 +50,9 @@
 	return out, s
 }
 
-// BenchmarkSave alternates a Save with a bare write and sync of as many bytes
-// to a file in the same folder, and reports the medians of both.
+// BenchmarkSave alternates Save with a plain write and sync of the same number of
+// bytes to a file in the same folder. It reports the median and 99th percentile
+// of both in microseconds, and changes per second.
 func BenchmarkSave(b *testing.B) {
 	for _, size := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("batch=%d", size), func(b *testing.B) {
@@ -97,8 +99,8 @@
 	b.ReportMetric(float64(size*len(times))/sum.Seconds(), name+"-changes/s")
 }
 
-// BenchmarkOpen measures a restart: Open, the snapshot's state and the replay
-// of the entries after it. The snapshot is taken 100 changes before the end.
+// BenchmarkOpen measures a restart: Open, decoding the snapshot and replaying the
+// entries after it. The snapshot is taken 100 changes before the end of the log.
 func BenchmarkOpen(b *testing.B) {
 	var wire codec.Codec
 	for _, n := range []int{500, 50_000} {
--- a/core/state/store/disk_test.go
+++ b/core/state/store/disk_test.go
@@ -11,23 +11,26 @@
 	"camphorridge/core/state/store"
 )
 
-// block is the unit in which the fake disk keeps or loses unsynced bytes.
+// blockSize is the size in bytes of the blocks in which a crash of the fake disk
+// keeps or loses unsynced data.
 const block = 16
 
-// inode is a file: data is what a process reads, synced what survives a crash
-// for certain, dirty the blocks that the next sync writes.
+// inode is a file. data is the content that a process reads, synced is the
+// content that is certain to survive a crash, and dirty is the set of blocks that
+// the next sync writes.
 type inode struct {
 	data, synced []byte
 	dirty        map[int]bool
 }
 
-// memDisk is a file system in memory. It fails on demand and forgets unsynced
-// bytes and names in a crash, each block and each name by itself.
+// memDisk is a file system in memory that fails on demand. In a crash, each
+// unsynced block and each unsynced file name is kept or lost independently.
 type memDisk struct {
 	names, durable map[string]*inode
 	locked         bool
-	// countdown is the number of operations up to the one that fails; 0 for
-	// none. After a power cut every later operation fails as well.
+	// countdown is the number of write operations up to and including the one
+	// that fails; 0 means that none fails. With powerCut set, every later
+	// operation fails as well.
 	countdown int
 	powerCut  bool
 	failure   error
@@ -37,7 +40,8 @@
 	return &memDisk{names: map[string]*inode{}, durable: map[string]*inode{}}
 }
 
-// fails reports the failure of an operation that changes something.
+// nextFailure counts an operation that modifies the disk and returns its injected
+// error, if any.
 func (d *memDisk) fails() error {
 	if d.countdown == 0 {
 		return nil
@@ -124,8 +128,9 @@
 	return func() error { d.locked = false; return nil }, nil
 }
 
-// crash ends the process and, with lose set, the machine: each unsynced name
-// and block is kept or lost at random.
+// crash simulates a crash of the process or, if machine is set, of the machine.
+// In a crash of the machine, each unsynced name and block is kept or lost at
+// random.
 func (d *memDisk) crash(t *rapid.T, lose bool) {
 	d.locked, d.powerCut, d.countdown = false, false, 0
 	if !lose {
@@ -178,7 +183,7 @@
 	node *inode
 }
 
-// WriteAt writes half of the bytes when it fails, as on a full disk.
+// WriteAt writes half of the bytes when it fails, as may happen on a full disk.
 func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
 	err := f.disk.fails()
 	if err != nil {
@@ -202,8 +207,8 @@
 	return nil
 }
 
-// Sync writes the dirty blocks. When it fails, they count as clean and stay
-// unwritten, as Linux treats them.
+// Sync writes the dirty blocks. When it fails, they are marked clean although
+// they are not written, as on Linux.
 func (f *memFile) Sync() error {
 	n := f.node
 	if err := f.disk.fails(); err != nil {
--- a/core/state/store/doc.go
+++ b/core/state/store/doc.go
@@ -1,14 +1,15 @@
-// Package store keeps the durable state of a control member in its data
+// Package store stores the durable state of a control member in its data
 // folder:
 //
-//   - meta: identity, term, vote and commit index, replaced as a whole;
-//   - log-<first index>.seg: records of the replicated log, appended;
+//   - meta: member ID, term, vote and commit index, replaced as a whole;
+//   - log-<first index>.seg: records of the replicated log, append-only;
 //   - snap-<index>.bin: the latest snapshot, replaced as a whole;
-//   - lock: held while a process uses the folder.
+//   - lock: locked while a process uses the folder.
 //
-// One call of Save appends one record and syncs once. A record replaces all
-// entries from its first index on, so that an overwritten suffix needs no
-// rewriting inside a segment. As every record is synced before the next one
-// is written, a crash can damage the last record only; damage anywhere else
-// is reported and never repaired by guessing.
+// A call of Save appends one record, or several for a batch above 16 MiB, and
+// syncs each. A record replaces all entries with an index of its first entry or
+// higher, so that an overwritten suffix of the log is not rewritten within a
+// segment. Because every record is synced before the next one is written, a
+// crash can damage only the last record. Damage anywhere else is reported as an
+// error and never repaired.
 package store
--- a/core/state/store/errors.go
+++ b/core/state/store/errors.go
@@ -6,33 +6,35 @@
 	"syscall"
 )
 
-// Kind tells the reasons of a failure apart.
+// Kind classifies an Error.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindIO: the file system failed.
+	// KindIO means that a file system operation failed.
 	KindIO Kind = iota
-	// KindDiskFull: no space is left; the call may be made again later.
+	// KindDiskFull means that no disk space is left; the call may be retried
+	// later.
 	KindDiskFull
-	// KindLocked: another process uses the folder.
+	// KindLocked means that another process uses the folder.
 	KindLocked
-	// KindCorrupt: a file's content contradicts its checksum or its
-	// neighbours.
+	// KindCorrupt means that the content of a file contradicts its checksum or
+	// the files before and after it.
 	KindCorrupt
-	// KindGap: log entries are missing.
+	// KindGap means that log entries are missing.
 	KindGap
-	// KindNoMeta: the folder has data but no meta file.
+	// KindNoMeta means that the folder contains data but no meta file.
 	KindNoMeta
-	// KindOutOfOrder: the call does not fit what is stored.
+	// KindOutOfOrder means that the arguments of the call contradict the stored
+	// state, such as entries that would leave a gap.
 	KindOutOfOrder
-	// KindClosed: the store was closed.
+	// KindClosed means that the store is closed.
 	KindClosed
 )
 
 var kindNames = [...]string{"file system", "disk full", "locked", "corrupt", "gap", "no meta file", "out of order", "closed"}
 
-// String returns the name used in messages.
+// String returns the name of the kind as used in error messages.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "unknown"
@@ -40,14 +42,14 @@
 	return kindNames[k]
 }
 
-// Error is returned by every operation of the package.
+// Error is the type of all errors of the package.
 type Error struct {
 	Op   string
 	Kind Kind
 	Err  error
 }
 
-// Error returns the operation, the kind and the cause.
+// Error formats the operation, the kind and the cause.
 func (e *Error) Error() string {
 	return fmt.Sprintf("store: %s: %s: %v", e.Op, e.Kind, e.Err)
 }
@@ -55,7 +57,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// ioError wraps a failure of the file system.
+// ioError returns an Error for a failed file system operation. Its kind is
+// KindDiskFull if no space or quota is left and KindIO otherwise.
 func ioError(op string, err error) error {
 	kind := KindIO
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
@@ -64,7 +67,8 @@
 	return &Error{Op: op, Kind: kind, Err: err}
 }
 
-// corrupt names the file and the offset of damaged content.
-func corrupt(name string, offset int64, format string, args ...any) error {
+// corruptError returns an Error with KindCorrupt for damaged content at an offset
+// of a file.
+func corruptError(name string, offset int64, format string, args ...any) error {
 	return &Error{Op: "open", Kind: KindCorrupt, Err: fmt.Errorf("%s, offset %d: %w", name, offset, fmt.Errorf(format, args...))}
 }
--- a/core/state/store/files.go
+++ b/core/state/store/filesystem.go
@@ -8,7 +8,7 @@
 	"syscall"
 )
 
-// File is an open file that is written at given offsets.
+// File is a file that is open for writing.
 type File interface {
 	WriteAt(p []byte, off int64) (int, error)
 	Truncate(size int64) error
@@ -16,29 +16,32 @@
 	Close() error
 }
 
-// FileSystem is the part of a file system that the store uses. Tests give one that
-// fails on demand.
+// FileSystem is the set of file system operations that the store uses. Tests pass an
+// implementation that fails on demand.
 type FileSystem interface {
+	// MakeDir creates a folder, if it is missing, and makes its name durable.
+	// MakeDir creates a folder, if it is missing, and makes its name durable.
 	MakeDir(dir string) error
-	// List returns the names in a folder, in any order.
+	// List returns the names of the files in a folder in any order.
 	List(dir string) ([]string, error)
-	// Open opens a file for writing and creates it when it is missing.
+	// Open opens a file for writing and creates it if it is missing.
 	Open(path string) (File, error)
 	ReadFile(path string) ([]byte, error)
 	Size(path string) (int64, error)
 	Rename(from, to string) error
 	Remove(path string) error
-	// SyncDir makes the names in a folder durable.
+	// SyncDir makes the creation, renaming and removal of files in a folder
+	// durable.
 	SyncDir(dir string) error
-	// Lock takes a lock that ends with the process; it fails with
-	// syscall.EWOULDBLOCK when another holder has it.
+	// Lock acquires a lock that is released when the process ends. It fails with
+	// syscall.EWOULDBLOCK if the lock is held by another process.
 	Lock(path string) (release func() error, err error)
 }
 
-// OSFileSystem is the machine's file system.
+// OSFileSystem is the FileSystem of the operating system.
 type OSFileSystem struct{}
 
-// MakeDir creates a folder and makes its name durable.
+// MakeDir creates a folder, if it is missing, and makes its name durable.
 func (OSFileSystem) MakeDir(dir string) error {
 	if _, err := os.Stat(dir); err == nil {
 		return nil
@@ -49,7 +52,7 @@
 	return OSFileSystem{}.SyncDir(filepath.Dir(dir))
 }
 
-// List returns the names in a folder.
+// List returns the names of the files in a folder.
 func (OSFileSystem) List(dir string) ([]string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
@@ -62,7 +65,7 @@
 	return names, nil
 }
 
-// Open opens or creates a file for writing.
+// Open opens a file for writing and creates it if it is missing.
 func (OSFileSystem) Open(path string) (File, error) {
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE, 0o640)
 }
@@ -79,13 +82,13 @@
 	return info.Size(), nil
 }
 
-// Rename replaces to by from.
+// Rename renames a file and replaces an existing file of the new name.
 func (OSFileSystem) Rename(from, to string) error { return os.Rename(from, to) }
 
 // Remove removes a file.
 func (OSFileSystem) Remove(path string) error { return os.Remove(path) }
 
-// SyncDir makes the names in a folder durable.
+// SyncDir makes the creation, renaming and removal of files in a folder durable.
 func (OSFileSystem) SyncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
@@ -94,8 +97,9 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
-// Lock takes an exclusive advisory lock on a file. The kernel releases it
-// when the process ends, so that no stale lock survives a crash.
+// Lock acquires an exclusive advisory lock on a file, which it creates if it is
+// missing. The kernel releases the lock when the process ends, so that no stale
+// lock survives a crash.
 func (OSFileSystem) Lock(path string) (release func() error, err error) {
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o640)
 	if err != nil {
--- a/core/state/store/meta.go
+++ b/core/state/store/meta.go
@@ -14,7 +14,7 @@
 	metaName = "meta"
 	lockName = "lock"
 	tempExt  = ".tmp"
-	// metaMagic names the format and its version.
+	// metaMagic identifies the file format and its version.
 	metaMagic = "crmeta01"
 	metaSize  = len(metaMagic) + 4*8 + 4
 )
@@ -36,11 +36,11 @@
 
 func decodeMeta(b []byte) (metaState, error) {
 	if len(b) != metaSize || string(b[:len(metaMagic)]) != metaMagic {
-		return metaState{}, corrupt(metaName, 0, "%d bytes that are not a meta file of this version", len(b))
+		return metaState{}, corruptError(metaName, 0, "the file has %d bytes and is not a meta file of this format version", len(b))
 	}
 	sum := binary.LittleEndian.Uint32(b[metaSize-4:])
 	if got := crc32.Checksum(b[:metaSize-4], castagnoli); got != sum {
-		return metaState{}, corrupt(metaName, 0, "checksum %08x, expected %08x", got, sum)
+		return metaState{}, corruptError(metaName, 0, "checksum %08x, expected %08x", got, sum)
 	}
 	field := func(i int) uint64 { return binary.LittleEndian.Uint64(b[len(metaMagic)+8*i:]) }
 	m := metaState{
@@ -48,13 +48,13 @@
 		hard: raft.HardState{Term: field(1), Vote: raft.MemberID(field(2)), Commit: field(3)},
 	}
 	if m.id == 0 {
-		return metaState{}, corrupt(metaName, int64(len(metaMagic)), "the identity is 0")
+		return metaState{}, corruptError(metaName, int64(len(metaMagic)), "the member ID is 0")
 	}
 	return m, nil
 }
 
-// newIdentity returns a random identity other than 0.
-func newIdentity() (raft.MemberID, error) {
+// newMemberID returns a random member ID other than 0.
+func newMemberID() (raft.MemberID, error) {
 	var b [8]byte
 	for {
 		if _, err := rand.Read(b[:]); err != nil {
@@ -66,12 +66,13 @@
 	}
 }
 
-// replaceFile writes a file under a temporary name and puts it in the place
-// of the old one once it is durable, so that a crash leaves either of them.
+// replaceFile writes a file under a temporary name and renames it to name once
+// it is durable, so that a crash leaves either the old or the new file.
 func (s *Store[C, F]) replaceFile(name string, parts ...[]byte) error {
 	path := filepath.Join(s.dir, name)
 	if err := s.writeTemp(path+tempExt, parts); err != nil {
-		// The space matters on a full disk; Open removes what is left.
+		// Free the space in case the disk is full. If the removal fails, the
+		// next Open removes the file.
 		_ = s.files.Remove(path + tempExt)
 		return err
 	}
@@ -86,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	// A temporary file of an earlier attempt may be longer.
+	// A temporary file left by an earlier attempt may be longer.
 	err = f.Truncate(0)
 	var off int64
 	for _, p := range parts {
@@ -105,9 +106,10 @@
 	return err
 }
 
-// writeMeta stores a term and a vote, with the commit index as far as the log
-// is durable. A recorded commit index beyond the end of the log is therefore a
-// sign of lost entries.
+// writeMeta writes the term, the vote and the commit index to the meta file. The
+// written commit index is at most durable, the index up to which the log is
+// durable. A stored commit index beyond the end of the log therefore proves that
+// entries were lost.
 func (s *Store[C, F]) writeMeta(hard raft.HardState, durable uint64) error {
 	stored := hard
 	stored.Commit = min(hard.Commit, durable)
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -13,7 +13,7 @@
 	"camphorridge/core/state/store"
 )
 
-// fill saves entries from..to one by one.
+// fill saves the entries with the indexes from to to, each with its own call.
 func fill[S interface {
 	Save(*raft.HardState, []raft.Entry) error
 }](t *testing.T, s S, from, to uint64) {
@@ -29,9 +29,10 @@
 	snap   = "snap-00000000000000000002.bin"
 )
 
-// TestOpenDamaged guards against a folder that is opened although data is
-// missing or changed, and against one that is refused although a crash alone
-// explains it. Each record has 28 bytes and each segment four records.
+// TestOpenDamaged guards against a folder that opens although data is missing or
+// modified, and against a folder that fails to open although a crash can have
+// left it in that state. Each record has 28 bytes, and each segment has four
+// records.
 func TestOpenDamaged(t *testing.T) {
 	flip := func(name string, at int) func(*testing.T, string) {
 		return func(t *testing.T, dir string) {
@@ -57,7 +58,7 @@
 	remove := func(name string) func(*testing.T, string) {
 		return func(t *testing.T, dir string) { assert.NilError(t, os.Remove(filepath.Join(dir, name))) }
 	}
-	// lose removes entry 9 after it was recorded as committed.
+	// loseCommitted removes entry 9 after it was stored as committed.
 	lose := func(t *testing.T, dir string) {
 		s, err := open(dir, store.OSFileSystem{}, 100)
 		assert.NilError(t, err)
@@ -68,7 +69,8 @@
 	cases := []struct {
 		name   string
 		damage func(*testing.T, string)
-		// last is the last entry found; 0 when Open fails with kind and text.
+		// last is the index of the last recovered entry; 0 means that Open fails
+		// with kind and a message that contains text.
 		last uint64
 		kind store.Kind
 		text string
@@ -129,7 +131,7 @@
 	}
 }
 
-// TestLock guards against two processes on one folder.
+// TestLock guards against two processes that use one folder.
 func TestLock(t *testing.T) {
 	dir := t.TempDir()
 	s, err := open(dir, store.OSFileSystem{}, 0)
@@ -143,9 +145,9 @@
 	assert.NilError(t, s.Close())
 }
 
-// TestFailedSync guards against going on after a failed sync in a file whose
-// earlier records are no longer intact, and against bytes of the failed
-// record after the next one.
+// TestFailedSync guards against further writes, after a failed sync, to a file
+// whose earlier records are damaged, and against remains of the failed record
+// after the next record.
 func TestFailedSync(t *testing.T) {
 	disk := newDisk()
 	s, err := open("d", disk, 0)
@@ -166,8 +168,8 @@
 	assert.ErrorContains(t, err, first+", offset 28")
 }
 
-// TestOrder guards against calls that would leave a gap, lower the term, or
-// replace committed entries.
+// TestOrder guards against calls that would leave a gap in the log, lower the
+// term, or replace committed entries.
 func TestOrder(t *testing.T) {
 	s, err := open("d", newDisk(), 0)
 	assert.NilError(t, err)
@@ -188,8 +190,8 @@
 	assert.Equal(t, string(data), "state")
 }
 
-// FuzzSegment guards against a panic, or an error of another type, on a
-// segment or snapshot with arbitrary content.
+// FuzzSegment guards against a panic, or an error of another type than Error,
+// when a segment or snapshot has arbitrary content.
 func FuzzSegment(f *testing.F) {
 	disk := newDisk()
 	s, err := open("d", disk, 0)
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -10,10 +10,12 @@
 	"camphorridge/core/state/raft"
 )
 
-// Open creates the data folder or recovers what it holds. Its errors have
-// KindLocked when another process uses the folder, KindCorrupt and KindGap
-// when data is damaged or missing, and KindNoMeta when there is data without
-// an identity: a new identity there would vote as a second member.
+// Open opens the data folder dir, creating it if it is missing, and recovers its
+// content after a crash. The error has KindLocked if another process uses the
+// folder, KindCorrupt or KindGap if data is damaged or missing, KindNoMeta if
+// the folder contains data but no member ID, and KindIO or KindDiskFull if the
+// file system fails. Open does not generate a new ID for existing data, because
+// the member could then vote twice, under the old and the new ID.
 func Open[C EntryCodec, F FileSystem](dir string, opts Options[C, F]) (*Store[C, F], error) {
 	s := &Store[C, F]{dir: dir, codec: opts.Codec, files: opts.FileSystem, segmentBytes: opts.SegmentBytes}
 	if s.segmentBytes <= 0 {
@@ -38,22 +40,23 @@
 	return s, nil
 }
 
-// found lists the data files of a folder by their indexes, in ascending order.
-type found struct {
+// dataFiles describes the data files in a folder: whether there is a meta file,
+// and the indexes of the snapshots and log segments in ascending order.
+type dataFiles struct {
 	meta  bool
 	snaps []uint64
 	logs  []uint64
 }
 
 func (s *Store[C, F]) recover(self raft.Member) error {
-	have, err := s.list()
+	have, err := s.listDataFiles()
 	if err != nil {
 		return err
 	}
 	if err := s.loadMeta(have); err != nil {
 		return err
 	}
-	if err := s.loadSnap(have.snaps); err != nil {
+	if err := s.loadSnapshot(have.snaps); err != nil {
 		return err
 	}
 	log, err := s.loadLog(have.logs)
@@ -64,32 +67,32 @@
 		return err
 	}
 	if s.hard.Commit > s.last() {
-		return &Error{Op: "open", Kind: KindGap, Err: fmt.Errorf("the log ends at entry %d, but %d was recorded as committed", s.last(), s.hard.Commit)}
+		return &Error{Op: "open", Kind: KindGap, Err: fmt.Errorf("the log ends at entry %d, but %d is stored as the commit index", s.last(), s.hard.Commit)}
 	}
-	s.commit = max(s.hard.Commit, s.snap.Index)
+	s.commit = max(s.hard.Commit, s.snapshot.Index)
 	self.ID = s.id
-	s.stored = raft.StoredState{Self: self, Hard: s.hard, Snapshot: s.snap, Entries: log}
+	s.stored = raft.StoredState{Self: self, Hard: s.hard, Snapshot: s.snapshot, Entries: log}
 	s.stored.Hard.Commit = s.commit
 	return nil
 }
 
-// list finds the data files and removes what a crash left of files that were
-// being made: temporary files and segments without a byte. It also syncs the
-// folder, because the process before may have ended between a rename and its
-// sync, and what is read here must not vanish later.
-func (s *Store[C, F]) list() (found, error) {
+// listDataFiles lists the data files and removes files whose creation was
+// interrupted by a crash: temporary files and empty segments. It also syncs the
+// folder: the previous process may have ended between a rename and the sync of
+// the folder, and files read here must not disappear in a later crash.
+func (s *Store[C, F]) listDataFiles() (dataFiles, error) {
 	names, err := s.files.List(s.dir)
 	if err != nil {
-		return found{}, ioError("list", err)
+		return dataFiles{}, ioError("list", err)
 	}
 	if err := s.files.SyncDir(s.dir); err != nil {
-		return found{}, ioError("sync folder", err)
+		return dataFiles{}, ioError("sync folder", err)
 	}
-	var have found
+	var have dataFiles
 	for _, name := range names {
 		if strings.HasSuffix(name, tempExt) {
 			if err := s.files.Remove(s.path(name)); err != nil {
-				return found{}, ioError("remove "+name, err)
+				return dataFiles{}, ioError("remove "+name, err)
 			}
 			continue
 		}
@@ -100,10 +103,10 @@
 		if index, ok := parseIndex(name, logPrefix, logExt); ok {
 			size, err := s.files.Size(s.path(name))
 			if err != nil {
-				return found{}, ioError("size of "+name, err)
+				return dataFiles{}, ioError("size of "+name, err)
 			}
 			if size == 0 {
-				s.doomed = append(s.doomed, name)
+				s.droppedFiles = append(s.droppedFiles, name)
 				continue
 			}
 			have.logs = append(have.logs, index)
@@ -111,10 +114,10 @@
 	}
 	slices.Sort(have.snaps)
 	slices.Sort(have.logs)
-	return have, s.removeDoomed()
+	return have, s.removeDropped()
 }
 
-func (s *Store[C, F]) loadMeta(have found) error {
+func (s *Store[C, F]) loadMeta(have dataFiles) error {
 	if have.meta {
 		b, err := s.files.ReadFile(s.path(metaName))
 		if err != nil {
@@ -129,9 +132,9 @@
 	}
 	if len(have.snaps)+len(have.logs) > 0 {
 		return &Error{Op: "open", Kind: KindNoMeta, Err: fmt.Errorf(
-			"%s has %d snapshots and %d log segments but no meta file", s.dir, len(have.snaps), len(have.logs))}
+			"%s contains %d snapshots and %d log segments but no meta file", s.dir, len(have.snaps), len(have.logs))}
 	}
-	id, err := newIdentity()
+	id, err := newMemberID()
 	if err != nil {
 		return err
 	}
@@ -139,30 +142,31 @@
 	return s.writeMeta(raft.HardState{}, 0)
 }
 
-// loadSnap reads the description of the latest snapshot and removes older
-// ones, which a crash left behind: the latest one is durable under its name.
-func (s *Store[C, F]) loadSnap(snaps []uint64) error {
+// loadSnapshot reads the description of the latest snapshot and removes older
+// snapshots left by a crash. The latest one is durable because it is renamed to
+// its name only after it was synced.
+func (s *Store[C, F]) loadSnapshot(snaps []uint64) error {
 	if len(snaps) == 0 {
 		return nil
 	}
-	s.snap.Index = snaps[len(snaps)-1]
+	s.snapshot.Index = snaps[len(snaps)-1]
 	meta, _, err := s.ReadSnapshot()
 	if err != nil {
 		return err
 	}
-	s.snap = meta
-	return s.removeOldSnaps()
+	s.snapshot = meta
+	return s.removeOldSnapshots()
 }
 
-// loadLog reads the segments, which must follow on each other and reach the
-// snapshot, and returns their entries.
+// loadLog reads the segments and returns their entries. The segments must be
+// contiguous and start at most one entry after the snapshot.
 func (s *Store[C, F]) loadLog(firsts []uint64) ([]raft.Entry, error) {
 	var log []raft.Entry
-	next := s.snap.Index + 1
+	next := s.snapshot.Index + 1
 	for i, first := range firsts {
 		if first > next || (i > 0 && first < next) {
 			return nil, &Error{Op: "open", Kind: KindGap, Err: fmt.Errorf(
-				"%s does not follow on entry %d", segment{first: first}.name(), next-1)}
+				"%s does not start after entry %d", segment{first: first}.name(), next-1)}
 		}
 		g, entries, err := s.loadSegment(first, i == len(firsts)-1)
 		if err != nil {
@@ -173,15 +177,15 @@
 		next = g.last + 1
 	}
 	if n := len(s.segments); n > 0 && s.segments[n-1].size == 0 {
-		// The first record of a new segment was torn.
-		s.doomFrom(n - 1)
+		// The write of the first record of a new segment was interrupted.
+		s.dropSegmentsFrom(n - 1)
 	}
-	return log, s.removeDoomed()
+	return log, s.removeDropped()
 }
 
-// loadSegment reads one segment. In the last one a damaged record with no
-// valid record after it is the torn end of an unacknowledged write, and is
-// cut off.
+// loadSegment reads one segment; final is true for the last one. In the last
+// segment, a damaged record without a valid record after it is the incomplete
+// end of an unacknowledged write and is ignored.
 func (s *Store[C, F]) loadSegment(first uint64, final bool) (segment, []raft.Entry, error) {
 	g := segment{first: first, last: first - 1}
 	b, err := s.files.ReadFile(s.path(g.name()))
@@ -190,74 +194,74 @@
 	}
 	var log []raft.Entry
 	for g.size < int64(len(b)) {
-		payload, n, ok := cutRecord(b[g.size:])
+		payload, n, ok := parseRecord(b[g.size:])
 		if !ok {
-			if !final || holdsRecord(b[g.size+1:]) {
-				return g, nil, corrupt(g.name(), g.size, "the record is damaged")
+			if !final || containsRecord(b[g.size+1:]) {
+				return g, nil, corruptError(g.name(), g.size, "the record is damaged")
 			}
 			break
 		}
 		batch, err := decodeBatch(s.codec, payload)
 		if err != nil {
-			return g, nil, corrupt(g.name(), g.size, "%w", err)
+			return g, nil, corruptError(g.name(), g.size, "%w", err)
 		}
 		start := batch[0].Index
 		if start < first || start > g.last+1 {
-			return g, nil, corrupt(g.name(), g.size, "entry %d follows on entry %d", start, g.last)
+			return g, nil, corruptError(g.name(), g.size, "entry %d follows entry %d", start, g.last)
 		}
 		log = append(log[:start-first], batch...)
-		s.buf = b[g.size : g.size+int64(n)]
+		s.recordBuf = b[g.size : g.size+int64(n)]
 		g.last = batch[len(batch)-1].Index
 		g.size += int64(n)
 	}
 	return g, log, nil
 }
 
-// reconcile joins the snapshot and the log: it returns the entries after the
-// snapshot. The log is removed when it ends before the snapshot or has another
-// entry at the snapshot's index, which is what an interrupted Install leaves.
-// A log that starts right after the snapshot was cut by Snapshot, because
-// Install removes the first segment last.
+// reconcile reconciles the log with the snapshot and returns the entries after
+// the snapshot. The log is removed if it ends before the snapshot or if its
+// entry at the snapshot's index has another term, because an interrupted Install
+// leaves such a log. A log that starts directly after the snapshot is kept: it
+// was shortened by Snapshot, because Install removes the first segment last.
 func (s *Store[C, F]) reconcile(log []raft.Entry) ([]raft.Entry, error) {
-	if len(log) > 0 && s.snap.Index > 0 {
-		covered := int(s.snap.Index + 1 - log[0].Index)
-		if covered > len(log) || (covered > 0 && log[covered-1].Term != s.snap.Term) {
-			s.doomFrom(0)
-			return nil, s.removeDoomed()
+	if len(log) > 0 && s.snapshot.Index > 0 {
+		covered := int(s.snapshot.Index + 1 - log[0].Index)
+		if covered > len(log) || (covered > 0 && log[covered-1].Term != s.snapshot.Term) {
+			s.dropSegmentsFrom(0)
+			return nil, s.removeDropped()
 		}
 		log = slices.Clone(log[covered:])
 	}
-	term := s.snap.Term
+	term := s.snapshot.Term
 	for _, e := range log {
 		if e.Term < term {
 			return nil, &Error{Op: "open", Kind: KindCorrupt, Err: fmt.Errorf("entry %d has term %d after term %d", e.Index, e.Term, term)}
 		}
 		term = e.Term
 	}
-	s.trim()
-	if err := s.removeDoomed(); err != nil {
+	s.dropCoveredSegments()
+	if err := s.removeDropped(); err != nil {
 		return nil, err
 	}
-	return log, s.settle()
+	return log, s.rewriteLastRecord()
 }
 
-// settle makes the last record durable. The process before may have ended
-// before its sync, or after a failed one, so that the record is in the page
-// cache only and would be lost by a crash after this member acknowledged it.
-// It is written again because a sync alone skips pages that a failed sync
-// marked clean.
-func (s *Store[C, F]) settle() error {
-	defer func() { s.buf = nil }()
+// rewriteLastRecord makes the last record durable. The previous process may have
+// ended before the sync of the record or after a failed sync, so that the record
+// exists only in the page cache and a later crash would lose it after this
+// member has acknowledged it. The record is written again because a sync alone
+// skips pages that a failed sync has marked clean.
+func (s *Store[C, F]) rewriteLastRecord() error {
+	defer func() { s.recordBuf = nil }()
 	if len(s.segments) == 0 {
 		return nil
 	}
-	if err := s.reopen(); err != nil {
+	if err := s.openActive(); err != nil {
 		return err
 	}
 	g := s.segments[len(s.segments)-1]
 	err := s.active.Truncate(g.size)
 	if err == nil {
-		_, err = s.active.WriteAt(s.buf, g.size-int64(len(s.buf)))
+		_, err = s.active.WriteAt(s.recordBuf, g.size-int64(len(s.recordBuf)))
 	}
 	if err == nil {
 		err = s.active.Sync()
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -12,52 +12,54 @@
 const (
 	logPrefix = "log-"
 	logExt    = ".seg"
-	// maxBatch bounds the data of one record; a larger batch becomes several
-	// records, each synced before the next one.
-	maxBatch = 16 << 20
-	// keepBuffer is the largest buffer that is kept for the next record.
-	keepBuffer = 1 << 20
+	// maxRecordBytes limits the data of one record. A larger batch is written as
+	// several records, each synced before the next one.
+	maxRecordBytes = 16 << 20
+	// maxKeptBuffer is the capacity in bytes above which the record buffer is
+	// not kept for the next record.
+	maxKeptBuffer = 1 << 20
 )
 
-// segment is one file of the log. Segments follow on each other without a
-// gap or an overlap; records are appended to the last one only.
+// segment is one file of the log. Segments are contiguous and do not overlap.
+// Records are appended only to the last one.
 type segment struct {
 	first uint64
-	// last is first-1 while the segment is empty.
+	// last is the index of the last entry; first-1 while the segment is empty.
 	last uint64
-	// size is the end of the last record that was synced. The file may be
+	// size is the offset of the end of the last synced record. The file may be
 	// longer after a failed write.
 	size int64
 }
 
 func (g segment) name() string { return indexName(logPrefix, g.first, logExt) }
 
-// last is the index of the last durable entry, or of the snapshot.
+// last returns the index of the last durable entry, or of the snapshot if there
+// are no segments.
 func (s *Store[C, F]) last() uint64 {
 	if n := len(s.segments); n > 0 {
 		return s.segments[n-1].last
 	}
-	return s.snap.Index
+	return s.snapshot.Index
 }
 
-// append writes one record and syncs it.
+// append writes a batch of entries as one record and syncs it.
 func (s *Store[C, F]) append(batch []raft.Entry) error {
-	if err := s.place(batch[0].Index); err != nil {
+	if err := s.prepareSegment(batch[0].Index); err != nil {
 		return err
 	}
-	s.buf = appendRecord(s.codec, s.buf[:0], batch)
-	size := int64(len(s.buf))
+	s.recordBuf = appendRecord(s.codec, s.recordBuf[:0], batch)
+	size := int64(len(s.recordBuf))
 	g := &s.segments[len(s.segments)-1]
-	_, err := s.active.WriteAt(s.buf, g.size)
-	if cap(s.buf) > keepBuffer {
-		s.buf = nil
+	_, err := s.active.WriteAt(s.recordBuf, g.size)
+	if cap(s.recordBuf) > maxKeptBuffer {
+		s.recordBuf = nil
 	}
 	if err != nil {
-		s.torn = true
+		s.tornWrite = true
 		return ioError("append to "+g.name(), err)
 	}
 	if err := s.active.Sync(); err != nil {
-		s.unknown = true
+		s.failedSync = true
 		return ioError("sync "+g.name(), err)
 	}
 	g.size += size
@@ -65,34 +67,35 @@
 	return nil
 }
 
-// place makes the last segment the one that takes a record from index on.
-// Segments that start above the index are removed first: a record replaces
-// entries of its own segment only.
-func (s *Store[C, F]) place(index uint64) error {
+// prepareSegment makes the last segment the one to which a record that starts at
+// index must be appended, and opens its file. Segments that start above index
+// are removed first, because a record replaces entries only within its own
+// segment.
+func (s *Store[C, F]) prepareSegment(index uint64) error {
 	keep := len(s.segments)
 	for keep > 0 && s.segments[keep-1].first > index {
 		keep--
 	}
-	s.doomFrom(keep)
-	if err := s.removeDoomed(); err != nil {
+	s.dropSegmentsFrom(keep)
+	if err := s.removeDropped(); err != nil {
 		return err
 	}
 	n := len(s.segments)
-	// Only a record that replaces nothing starts a new segment, so that
-	// segments never overlap.
+	// A new segment is started only for a record that replaces no entries, so
+	// that segments never overlap.
 	full := n > 0 && s.segments[n-1].size >= s.segmentBytes && index == s.last()+1
 	if n == 0 || full {
-		return s.roll(index)
+		return s.startSegment(index)
 	}
 	if s.active == nil {
-		return s.reopen()
+		return s.openActive()
 	}
 	return nil
 }
 
-// roll starts a new segment. Its name is made durable before a record in it
-// is acknowledged.
-func (s *Store[C, F]) roll(first uint64) error {
+// startSegment creates a new segment. The file name is made durable before a
+// record in the file is acknowledged.
+func (s *Store[C, F]) startSegment(first uint64) error {
 	g := segment{first: first, last: first - 1}
 	f, err := s.files.Open(s.path(g.name()))
 	if err == nil {
@@ -105,7 +108,7 @@
 		}
 	}
 	if err != nil {
-		s.doomed = append(s.doomed, g.name())
+		s.droppedFiles = append(s.droppedFiles, g.name())
 		return ioError("create "+g.name(), err)
 	}
 	s.closeActive()
@@ -114,7 +117,7 @@
 	return nil
 }
 
-func (s *Store[C, F]) reopen() error {
+func (s *Store[C, F]) openActive() error {
 	name := s.segments[len(s.segments)-1].name()
 	f, err := s.files.Open(s.path(name))
 	if err != nil {
@@ -124,8 +127,8 @@
 	return nil
 }
 
-// closeActive closes the file of the last segment. The error of the close is
-// of no use: all records that count were synced.
+// closeActive closes the file of the last segment. An error of Close is ignored
+// because all acknowledged records have been synced.
 func (s *Store[C, F]) closeActive() {
 	if s.active != nil {
 		_ = s.active.Close()
@@ -133,60 +136,62 @@
 	}
 }
 
-// doomFrom takes the segments from position i on out of the log, the last one
-// first, so that what is left on disk never has a gap.
-func (s *Store[C, F]) doomFrom(i int) {
+// dropSegmentsFrom drops the segments from position i to the end from the log.
+// Their files are removed from the last to the first, so that the segments on
+// disk never have a gap.
+func (s *Store[C, F]) dropSegmentsFrom(i int) {
 	for n := len(s.segments) - 1; n >= i; n-- {
 		s.closeActive()
-		s.torn, s.unknown = false, false
-		s.doom(n)
+		s.tornWrite, s.failedSync = false, false
+		s.dropSegment(n)
 	}
 }
 
-// doom takes one segment out of the log; removeDoomed removes its file.
-func (s *Store[C, F]) doom(i int) {
-	s.doomed = append(s.doomed, s.segments[i].name())
+// dropSegment drops the segment at position i from the log; removeDropped
+// removes its file.
+func (s *Store[C, F]) dropSegment(i int) {
+	s.droppedFiles = append(s.droppedFiles, s.segments[i].name())
 	s.segments = append(s.segments[:i:i], s.segments[i+1:]...)
 }
 
-// trim takes the segments that the snapshot covers as a whole out of the log,
-// the first one first.
-func (s *Store[C, F]) trim() {
-	for len(s.segments) > 1 && s.segments[0].last <= s.snap.Index {
-		s.doom(0)
+// dropCoveredSegments drops the segments that the snapshot covers completely, in
+// ascending order. The last segment is never dropped.
+func (s *Store[C, F]) dropCoveredSegments() {
+	for len(s.segments) > 1 && s.segments[0].last <= s.snapshot.Index {
+		s.dropSegment(0)
 	}
 }
 
-// removeDoomed removes the files that are no longer part of the log, each
-// durably before the next: the file system may otherwise keep any of them
-// over a crash, and an old segment must not follow on newer entries. Files
-// that could not be removed are tried again before anything is written.
-func (s *Store[C, F]) removeDoomed() error {
-	for len(s.doomed) > 0 {
-		name := s.doomed[0]
+// removeDropped removes the files of dropped segments. The removal of each file
+// is made durable before the next one: otherwise any of the files could reappear
+// after a crash, and an old segment must not follow newer entries. Files that
+// could not be removed are retried before the next write.
+func (s *Store[C, F]) removeDropped() error {
+	for len(s.droppedFiles) > 0 {
+		name := s.droppedFiles[0]
 		if err := s.files.Remove(s.path(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return ioError("remove "+name, err)
 		}
 		if err := s.files.SyncDir(s.dir); err != nil {
 			return ioError("remove "+name, err)
 		}
-		s.doomed = s.doomed[1:]
+		s.droppedFiles = s.droppedFiles[1:]
 	}
 	return nil
 }
 
-// repair brings the last segment back to its last good offset after a failed
-// write or sync. After a failed sync the kernel may have dropped the dirty
-// pages and marked them clean, so that a second sync would succeed without
-// writing them: the file is opened anew, its earlier records are checked, and
-// the failed record is cut off and written again by the next Save, never
-// trusted because a later sync succeeded.
-func (s *Store[C, F]) repair() error {
-	if len(s.segments) == 0 || (!s.torn && !s.unknown) {
+// repairTail truncates the last segment to the end of its last synced record
+// after a failed write or sync. After a failed sync, the kernel may have dropped
+// the dirty pages and marked them clean, so that a second sync would succeed
+// without writing them. The success of a later sync is therefore not trusted:
+// the file is reopened, its earlier records are verified, and the failed record
+// is truncated; the next Save writes it again.
+func (s *Store[C, F]) repairTail() error {
+	if len(s.segments) == 0 || (!s.tornWrite && !s.failedSync) {
 		return nil
 	}
 	g := s.segments[len(s.segments)-1]
-	if s.unknown {
+	if s.failedSync {
 		s.closeActive()
 		b, err := s.files.ReadFile(s.path(g.name()))
 		if err != nil {
@@ -197,7 +202,7 @@
 		}
 	}
 	if s.active == nil {
-		if err := s.reopen(); err != nil {
+		if err := s.openActive(); err != nil {
 			return err
 		}
 	}
@@ -206,22 +211,23 @@
 		err = s.active.Sync()
 	}
 	if err != nil {
-		s.unknown = true
+		s.failedSync = true
 		return ioError("truncate "+g.name(), err)
 	}
-	s.torn, s.unknown = false, false
+	s.tornWrite, s.failedSync = false, false
 	return nil
 }
 
-// checkRecords fails when a segment's synced records are not intact.
+// checkRecords returns an error if the synced records of a segment, whose file
+// content is b, are damaged.
 func checkRecords(g segment, b []byte) error {
 	if int64(len(b)) < g.size {
-		return corrupt(g.name(), int64(len(b)), "the file ends before offset %d", g.size)
+		return corruptError(g.name(), int64(len(b)), "the file ends before offset %d", g.size)
 	}
 	for off := int64(0); off < g.size; {
-		_, n, ok := cutRecord(b[off:g.size])
+		_, n, ok := parseRecord(b[off:g.size])
 		if !ok {
-			return corrupt(g.name(), off, "the record is damaged")
+			return corruptError(g.name(), off, "the record is damaged")
 		}
 		off += int64(n)
 	}
@@ -230,6 +236,6 @@
 
 func (s *Store[C, F]) path(name string) string { return filepath.Join(s.dir, name) }
 
-func orderError(op, format string, args ...any) error {
+func outOfOrder(op, format string, args ...any) error {
 	return &Error{Op: op, Kind: KindOutOfOrder, Err: fmt.Errorf(format, args...)}
 }
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -7,25 +7,26 @@
 	"camphorridge/core/state/raft"
 )
 
-// DefaultSegmentBytes is the size from which on a segment takes no further
-// records. A restart reads at most the segments since the last snapshot, and
-// a snapshot frees whole segments only.
+// DefaultSegmentBytes is the default size in bytes at which a segment receives
+// no more records. Smaller segments let a snapshot free space earlier and
+// shorten a restart: a snapshot removes only whole segments, and a restart reads
+// the segments that are left.
 const DefaultSegmentBytes = 4 << 20
 
 // Options configures a store.
 type Options[C EntryCodec, F FileSystem] struct {
 	Codec      C
 	FileSystem F
-	// Self holds the settings of this member; its identity comes from the
+	// Self describes this member. Its ID is ignored; the ID is read from the
 	// folder.
 	Self raft.Member
-	// SegmentBytes is the size at which a new segment starts; 0 stands for
-	// DefaultSegmentBytes.
+	// SegmentBytes is the size at which a new segment is started. Values below 1
+	// mean DefaultSegmentBytes.
 	SegmentBytes int64
 }
 
-// Store is the open data folder of a control member. It belongs to one duty:
-// its methods must not be called concurrently.
+// Store is the open data folder of a control member. It is not safe for
+// concurrent use.
 type Store[C EntryCodec, F FileSystem] struct {
 	dir          string
 	codec        C
@@ -36,39 +37,40 @@
 	id raft.MemberID
 	// hard is the content of the meta file.
 	hard raft.HardState
-	// commit is the largest commit index told; the meta file may have a
-	// smaller one.
-	commit uint64
-	snap   raft.SnapshotMeta
-	// segments is the log after the snapshot; its last one takes records.
+	// commit is the largest commit index passed to Save; the one in the meta
+	// file may be smaller.
+	commit   uint64
+	snapshot raft.SnapshotMeta
+	// segments lists the segments of the log in ascending order. Records are
+	// appended to the last one.
 	segments []segment
-	// active is the open file of the last segment; nil when it is not open.
+	// active is the file of the last segment; nil if it is not open.
 	active File
-	// doomed lists files to be removed before anything is written.
-	doomed []string
-	// torn is set while the last segment may have bytes after its size;
-	// unknown is set after a failed sync.
-	torn, unknown bool
-	buf           []byte
-	stored        raft.StoredState
-	closed        bool
+	// droppedFiles lists the files that must be removed before the next write.
+	droppedFiles []string
+	// tornWrite is set while the last segment may have bytes after its size;
+	// failedSync is set after a failed sync.
+	tornWrite, failedSync bool
+	recordBuf             []byte
+	stored                raft.StoredState
+	closed                bool
 }
 
-// Stored returns what Open found. The entries are kept until the first Save
-// only.
+// Stored returns the state that Open recovered. Its entries are available only
+// until the first Save.
 func (s *Store[C, F]) Stored() raft.StoredState { return s.stored }
 
-// Save makes a hard state and entries durable; hard may be nil and entries
-// empty. The entries replace all stored entries from entries[0].Index on. A
-// term or a vote is synced before the entries are written; a commit index
-// alone is written with the next term, vote or Close.
+// Save makes a hard state and entries durable; hard may be nil and entries may
+// be empty. The entries replace all stored entries with an index of
+// entries[0].Index or higher. A new term or vote is synced before the entries
+// are written; a new commit index alone is written with the next term or vote,
+// or by Close.
 //
-// After an error nothing of the call may be acknowledged, although its term
-// and vote, and of a batch above 16 MiB the first entries, may be durable.
-// The same call may be repeated, and brings the log back to its last good
-// record first.
+// After an error nothing of the call may be acknowledged, although its term and
+// vote, and the first entries of a batch above 16 MiB, may be durable. The same
+// call may be repeated; it first truncates the log to its last synced record.
 func (s *Store[C, F]) Save(hard *raft.HardState, entries []raft.Entry) error {
-	if err := s.ready("save"); err != nil {
+	if err := s.prepareWrite("save"); err != nil {
 		return err
 	}
 	if err := s.checkOrder(hard, entries); err != nil {
@@ -76,12 +78,12 @@
 	}
 	s.stored.Entries = nil
 	if hard != nil {
-		if err := s.saveHard(*hard, entries); err != nil {
+		if err := s.saveHardState(*hard, entries); err != nil {
 			return err
 		}
 	}
 	for len(entries) > 0 {
-		n := batchLen(entries)
+		n := recordLen(entries)
 		if err := s.append(entries[:n]); err != nil {
 			return err
 		}
@@ -90,7 +92,7 @@
 	return nil
 }
 
-func (s *Store[C, F]) saveHard(hard raft.HardState, entries []raft.Entry) error {
+func (s *Store[C, F]) saveHardState(hard raft.HardState, entries []raft.Entry) error {
 	if hard.Term == s.hard.Term && hard.Vote == s.hard.Vote {
 		s.commit = max(s.commit, hard.Commit)
 		return nil
@@ -105,48 +107,49 @@
 
 func (s *Store[C, F]) checkOrder(hard *raft.HardState, entries []raft.Entry) error {
 	if hard != nil && hard.Term < s.hard.Term {
-		return orderError("save", "term %d after term %d", hard.Term, s.hard.Term)
+		return outOfOrder("save", "term %d is below the stored term %d", hard.Term, s.hard.Term)
 	}
 	for i, e := range entries {
 		if want := entries[0].Index + uint64(i); e.Index != want {
-			return orderError("save", "entry %d in the place of entry %d", e.Index, want)
+			return outOfOrder("save", "the entries are not contiguous: found index %d, expected %d", e.Index, want)
 		}
 	}
 	if len(entries) == 0 {
 		return nil
 	}
-	if low, first := max(s.snap.Index, s.hard.Commit), entries[0].Index; first <= low || first > s.last()+1 {
-		return orderError("save", "entry %d is not above the committed entry %d and at most %d", first, low, s.last()+1)
+	if low, first := max(s.snapshot.Index, s.hard.Commit), entries[0].Index; first <= low || first > s.last()+1 {
+		return outOfOrder("save", "first index %d must be above the committed index %d and at most %d", first, low, s.last()+1)
 	}
 	return nil
 }
 
-// batchLen is the number of entries, at least 1, that fit one record.
-func batchLen(entries []raft.Entry) int {
+// recordLen returns the number of entries, at least 1, that fit in one record.
+func recordLen(entries []raft.Entry) int {
 	size := 0
 	for i, e := range entries {
 		size += len(e.Data)
-		if i > 0 && size > maxBatch {
+		if i > 0 && size > maxRecordBytes {
 			return i
 		}
 	}
 	return len(entries)
 }
 
-// ready finishes what an earlier call could not: files to remove, and a last
-// segment that ends in a failed write.
-func (s *Store[C, F]) ready(op string) error {
+// prepareWrite completes the cleanup that an earlier call could not complete: it
+// removes dropped files and truncates a failed write at the end of the last
+// segment. It fails if the store is closed.
+func (s *Store[C, F]) prepareWrite(op string) error {
 	if s.closed {
 		return &Error{Op: op, Kind: KindClosed, Err: fmt.Errorf("%s is closed", s.dir)}
 	}
-	if err := s.removeDoomed(); err != nil {
+	if err := s.removeDropped(); err != nil {
 		return err
 	}
-	return s.repair()
+	return s.repairTail()
 }
 
-// Close writes the commit index and releases the folder. The store cannot be
-// used afterwards; a second Close does nothing.
+// Close writes the commit index and unlocks the folder. The store cannot be used
+// afterwards; a second Close does nothing.
 func (s *Store[C, F]) Close() error {
 	if s.closed {
 		return nil
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -21,14 +21,15 @@
 	return store.Open(dir, store.Options[codec.Codec, F]{FileSystem: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
 }
 
-// isKind fails when an error is not the package's own or of another kind.
+// isKind fails the test unless err is an Error of the given kind.
 func isKind(t assert.TestingT, err error, kind store.Kind) {
 	var e *store.Error
 	assert.Assert(t, errors.As(err, &e), "%T %v", err, err)
 	assert.Equal(t, e.Kind, kind, "%v", err)
 }
 
-// run drives a store on a fake disk and knows what it must hold.
+// run is a test run of a store on a fake disk, with the state that the store must
+// contain.
 type run struct {
 	disk  *memDisk
 	s     *store.Store[codec.Codec, *memDisk]
@@ -37,24 +38,24 @@
 	snap  raft.SnapshotMeta
 	log   []raft.Entry
 	count int
-	// abandoned is set after a Save that failed and is not repeated; the log
-	// is cut to what it must have kept.
+	// abandoned is set after a failed Save that is not repeated. log then
+	// contains only the entries that the store must still have.
 	abandoned bool
 }
 
 func (r *run) last() uint64 { return r.snap.Index + uint64(len(r.log)) }
 
-// step is one call: what it does and what the store holds after it.
+// step is one call to the store and the expected content of the store after it.
 type step struct {
 	call func() error
 	hard raft.HardState
 	snap raft.SnapshotMeta
 	log  []raft.Entry
-	// keeps is the number of entries of the log before that a failed call
-	// must leave in place.
+	// keeps is the number of entries of the previous log that must be left in
+	// place if the call fails.
 	keeps int
-	// loose is set when the call before was abandoned: its entries and its
-	// vote may be stored too.
+	// loose is set if the previous call was abandoned: its entries and its vote
+	// may be stored too.
 	loose bool
 }
 
@@ -74,7 +75,8 @@
 		out.log, out.keeps = r.log[k:], 0
 		out.call = func() error { return r.s.Snapshot(out.snap, data) }
 	case kind == 1:
-		// The snapshot's term is new, so that the log has no entry of it.
+		// The term of the snapshot is new, so that the log has no entry of that
+		// term.
 		low := max(r.hard.Commit, r.snap.Index)
 		out.snap = raft.SnapshotMeta{Index: rapid.Uint64Range(low+1, r.last()+3).Draw(t, "index"), Term: term + 1, Members: members}
 		out.log, out.keeps = nil, 0
@@ -99,7 +101,8 @@
 	return out
 }
 
-// abandon gives a failed Save up, unless it would give up committed entries.
+// abandon decides not to repeat a failed Save and reports whether that is
+// allowed: the failed call must be a Save that commits none of its new entries.
 func (s step) abandon(r *run) bool {
 	if s.snap.Index != r.snap.Index || s.hard.Commit > r.snap.Index+uint64(s.keeps) {
 		return false
@@ -116,15 +119,15 @@
 	if r.id == 0 {
 		r.id = got.Self.ID
 	}
-	assert.Assert(t, r.id != 0 && got.Self.ID == r.id, "the identity changed")
+	assert.Assert(t, r.id != 0 && got.Self.ID == r.id, "the member ID changed")
 	meta, _, err := s.ReadSnapshot()
 	assert.NilError(t, err)
 	assert.DeepEqual(t, meta, got.Snapshot)
 	return got
 }
 
-// check compares the recovered state with the one before a call that failed
-// and the one after it; both are the same when no call failed.
+// check compares the recovered state with the expected states before and after
+// the last call. These are the same if the call succeeded.
 func (r *run) check(t *rapid.T, got raft.StoredState, after step) {
 	same := func(a, b []raft.Entry) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 	n := len(got.Entries)
@@ -134,7 +137,8 @@
 		return
 	}
 	if got.Snapshot.Index == after.snap.Index && after.snap.Index != r.snap.Index {
-		// An interrupted Install may leave entries; they follow the snapshot.
+		// The new snapshot is durable. Segments left by an interrupted Install
+		// must not contribute entries: exactly those after the snapshot remain.
 		assert.Assert(t, same(got.Entries, after.log), "%v, expected %v", got.Entries, after.log)
 	} else {
 		assert.Equal(t, got.Snapshot.Index, r.snap.Index)
@@ -148,10 +152,10 @@
 	r.snap, r.log, r.hard = got.Snapshot, got.Entries, got.Hard
 }
 
-// TestFaultsAndCrashes guards against a store that loses or changes what it
-// acknowledged, or that cannot go on: after a failed write, a full disk, a
-// failed sync that drops pages, a killed process, or a power cut in the middle
-// of any call or of the recovery itself.
+// TestFaultsAndCrashes guards against a store that loses or changes acknowledged
+// data, or that cannot continue, after a failed write, a full disk, a failed sync
+// that drops pages, a killed process, or a power cut during any call or during
+// recovery.
 func TestFaultsAndCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := &run{disk: newDisk()}
@@ -182,9 +186,9 @@
 			if !crash {
 				continue
 			}
-			r.disk.crash(t, rapid.Bool().Draw(t, "the machine too"))
+			r.disk.crash(t, rapid.Bool().Draw(t, "machine crash"))
 			if fault == 2 {
-				// The recovery is interrupted as well.
+				// Recovery is interrupted as well.
 				r.disk.countdown, r.disk.powerCut = rapid.IntRange(1, 6).Draw(t, "again"), true
 				_, _ = open("d", r.disk, 200)
 				r.disk.crash(t, true)
