--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -2,7 +2,7 @@
 
 import "camphorridge/core/state/model"
 
-// Action is what would remove an obstacle.
+// Action is an action that removes an obstacle.
 type Action string
 
 // The actions.
@@ -20,17 +20,17 @@
 	ActionInspect        Action = "inspect"
 )
 
-// Advice is an action and the name of what it acts on: a limit, a pool, a
-// process or an instance.
+// Advice recommends an action. Target is the name of the limit, pool, process or
+// instance, or of another object, that the action applies to.
 type Advice struct {
 	Action Action
 	Target string
 }
 
-// advices maps the names of limits in events to what would unblock: the
-// settings of a contract, the reasons of refusals, and the limits of the
-// system itself.
-var advices = map[string]Advice{
+// adviceByLimit maps the limit names in events to the action that resolves the
+// limit. The three groups are settings of a contract, reasons for refused
+// requests, and limits of the system itself.
+var adviceByLimit = map[string]Advice{
 	"concurrency":     {ActionRaiseLimit, "concurrency"},
 	"queue":           {ActionRaiseLimit, "queue"},
 	"retries":         {ActionRaiseLimit, "retry-percent"},
@@ -56,18 +56,19 @@
 	"drained":  {ActionRestartProcess, "process"},
 }
 
-// adviceFor returns what would unblock a limit. A limit that is not in the
-// table is named as the one to look at.
+// adviceFor returns the advice for a limit. For a limit that is not in
+// adviceByLimit, the advice is to inspect the limit.
 func adviceFor(limit string) Advice {
-	if a, ok := advices[limit]; ok {
+	if a, ok := adviceByLimit[limit]; ok {
 		return a
 	}
 	return Advice{ActionInspect, limit}
 }
 
-// confirmAdvice tells a process that still has requests in flight from one
-// that is silent.
-func confirmAdvice(o CurrentState, p Process) Advice {
+// releaseAdvice returns the advice for a process that has not confirmed a
+// release: to wait for its requests in flight or, if the process has stopped
+// reporting, to restart it.
+func releaseAdvice(o CurrentState, p Process) Advice {
 	if p.LastReport == 0 || o.Now-p.LastReport > ReportTimeout {
 		return Advice{ActionRestartProcess, string(p.Name)}
 	}
--- a/core/state/trail/doc.go
+++ b/core/state/trail/doc.go
@@ -1,5 +1,6 @@
-// Package trail is the time line: a hybrid logical clock, the bounded log of a
-// process's events, the causal merge of the events of all processes, and pure
-// functions that explain what happened to a customer, an instance or a
-// request, which limit bound and what would unblock it.
+// Package trail implements the event time line: a hybrid logical clock, the
+// bounded event log of a process, and the merge of the events of all processes
+// in causal order. Its pure functions explain what happened to a customer, an
+// instance or a request, which limits were reached and which actions resolve
+// them, and compute statistics on contract changes and maintenance.
 package trail
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -9,75 +9,79 @@
 )
 
 const (
-	// MaxEvents bounds the events of an explanation; the newest are kept.
+	// MaxEvents is the maximum number of events in each event list of an
+	// explanation; the newest are kept.
 	MaxEvents = 200
-	// ReportTimeout is the time without a report after which a process is taken
-	// for silent; processes report once in a second.
+	// ReportTimeout is the time without a report after which a process counts as
+	// silent. Processes report once per second.
 	ReportTimeout = 3 * clock.Second
 )
 
-// Subject is the kind of object that is explained.
+// Subject is the type of object that an explanation is about.
 type Subject string
 
-// The subjects.
+// The subjects of explanations.
 const (
 	SubjectCustomer Subject = "customer"
 	SubjectInstance Subject = "instance"
 	SubjectRequest  Subject = "request"
 )
 
-// Process is what the control group knows of an entry process.
+// Process is the state of an entry process as known to the control group.
 type Process struct {
 	Name    model.Process
 	Zone    model.Zone
 	Version model.Version
-	// DrainedVersion is the version up to which the process has carried out every
-	// release.
+	// DrainedVersion is the version up to which the process has completed all
+	// releases of instances.
 	DrainedVersion model.Version
-	// LastReport is the time of its last report; 0 for never.
+	// LastReport is the time of the last report of the process; 0 means never.
 	LastReport clock.Millis
 }
 
-// CurrentState is the present state that explanations refer to.
+// CurrentState is the current state of the fleet that explanations refer to.
 type CurrentState struct {
 	Now         clock.Millis
 	Contracts   map[model.Customer]model.Contract
 	Instances   map[model.InstanceID]model.Instance
 	Maintenance map[string]model.Maintenance
-	// Processes lists the configured entry processes, those that never
-	// reported included.
+	// Processes lists all configured entry processes, including those that have
+	// never reported.
 	Processes []Process
 }
 
-// Explanation says what happened to a subject, what bound it and what would
-// unblock it.
+// Explanation describes what happened to a subject, which limits were reached,
+// which obstacles exist now and how to remove them.
 type Explanation struct {
 	Subject Subject
 	Name    string
 	Now     clock.Millis
-	// Found is false when neither the objects nor the events mention the
+	// Found is false if neither the current state nor the events mention the
 	// subject.
 	Found bool
-	// Contract and Pools are set for a customer, Instance for an instance.
+	// Contract and Pools are set for a customer, and Instance for an instance.
 	Contract model.Contract
 	Pools    []PoolState
 	Instance model.Instance
-	// Events lists the events of the subject itself, oldest first; Omitted
-	// counts the older ones left out.
+	// Events lists the events of the subject itself, oldest first.
+	// OmittedEvents is the number of older events left out.
 	Events        []model.Event
 	OmittedEvents int
-	// RelatedEvents lists the events of the same instances around a request.
+	// RelatedEvents lists the events of the instances of a request around the
+	// time of the request.
 	RelatedEvents []model.Event
-	// LimitHits lists the limits that bound, the most recent first.
+	// LimitHits lists the limits that were reached, the most recent first.
 	LimitHits []LimitHit
-	// Obstacles lists what stands in the way now.
+	// Obstacles lists the current obstacles.
 	Obstacles []Obstacle
 }
 
-// PoolState compares what a contract promises in a pool with what is there.
+// PoolState compares the number of instances that a contract promises in a pool
+// with the actual number by phase.
 type PoolState struct {
 	Pool model.Pool
-	// Spare says that the instances are reserved and not promised for work.
+	// Spare is true for a spare pool, whose instances are reserved and not
+	// promised for work.
 	Spare       bool
 	Promised    int
 	Serving     int
@@ -85,42 +89,49 @@
 	Maintenance int
 }
 
-// LimitHit sums up the events in which one limit bound.
+// LimitHit summarizes the events of one kind in which a limit was reached.
 type LimitHit struct {
 	Limit string
 	Kind  model.EventKind
 	Count int
 	First model.Stamp
 	Last  model.Stamp
-	// Detail is that of the last event.
+	// Detail is the detail of the last event.
 	Detail string
 	Advice Advice
 }
 
-// ObstacleKind tells the obstacles apart.
+// ObstacleKind is the type of an obstacle.
 type ObstacleKind string
 
 // The kinds of obstacle.
 const (
-	// ObstacleReleaseUnconfirmed: an entry process has not confirmed a release.
+	// ObstacleReleaseUnconfirmed means that an entry process has not
+	// confirmed the release of an instance.
 	ObstacleReleaseUnconfirmed ObstacleKind = "release-not-confirmed"
-	// ObstacleNotReturned: the instance has not come back from the platform.
+	// ObstacleNotReturned means that the instance is in maintenance and the
+	// platform has not returned it.
 	ObstacleNotReturned ObstacleKind = "not-returned"
-	// ObstacleDisruptionLimit: a customer's limit of unavailable instances is reached.
+	// ObstacleDisruptionLimit means that a customer's limit of unavailable
+	// instances is reached.
 	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
-	// ObstacleMaintenanceDue: declared maintenance has not reached the instance.
+	// ObstacleMaintenanceDue means that the instance has not yet been taken out for a
+	// declared maintenance.
 	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
-	// ObstacleNotAnnounced: the instance was last reported as gone.
+	// ObstacleNotAnnounced means that the last event of the instance reported it as
+	// gone.
 	ObstacleNotAnnounced ObstacleKind = "not-announced"
-	// ObstacleEjected: the instance was last ejected for failures.
+	// ObstacleEjected means that the instance was ejected because of failures and has
+	// not been restored since.
 	ObstacleEjected ObstacleKind = "ejected"
-	// ObstacleCapacityMissing: fewer instances serve than are promised.
+	// ObstacleCapacityMissing means that fewer instances are serving than
+	// promised.
 	ObstacleCapacityMissing ObstacleKind = "capacity-missing"
-	// ObstacleNoContract: there is no contract.
+	// ObstacleNoContract means that the customer has no contract.
 	ObstacleNoContract ObstacleKind = "no-contract"
 )
 
-// Obstacle is one obstacle. Empty fields do not apply.
+// Obstacle describes one obstacle. Fields that do not apply are empty.
 type Obstacle struct {
 	Kind        ObstacleKind
 	Instance    model.InstanceID
@@ -128,18 +139,18 @@
 	Process     model.Process
 	Customer    model.Customer
 	Maintenance string
-	// Limit names the limit that binds, with its value.
+	// Limit and Value are the name and the value of the limit that is reached.
 	Limit string
 	Value int64
-	// Missing is the number of instances that are lacking.
+	// Missing is the number of missing instances.
 	Missing  int
 	Since    clock.Millis
 	Deadline clock.Millis
 	Advice   Advice
 }
 
-// collect adds the events that match to the explanation, and the limits that
-// bound in them.
+// collect adds the matching events, and the limits that were reached in them, to
+// the explanation.
 func (x *Explanation) collect(events []model.Event, match func(model.Event) bool) {
 	type key struct {
 		limit string
@@ -174,8 +185,8 @@
 	})
 }
 
-// sorted returns the values of a map in the order of their keys.
-func sorted[K cmp.Ordered, V any](m map[K]V) []V {
+// sortedByKey returns the values of a map in the order of their keys.
+func sortedByKey[K cmp.Ordered, V any](m map[K]V) []V {
 	keys := make([]K, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -56,8 +56,8 @@
 	})
 }
 
-// TestExplainCustomer guards against a limit or an obstacle that the
-// explanation of a customer leaves out or takes from another customer.
+// TestExplainCustomer guards against an explanation of a customer that omits a
+// limit or an obstacle, or includes one of another customer.
 func TestExplainCustomer(t *testing.T) {
 	x := trail.ExplainCustomer(objects(), events(), "pomar")
 	assert.Assert(t, x.Found)
@@ -68,7 +68,7 @@
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
 	}})
-	assert.Equal(t, x.Obstacles[0].Advice.Action, trail.ActionAddInstances, "one instance moves away for good")
+	assert.Equal(t, x.Obstacles[0].Advice.Action, trail.ActionAddInstances, "one missing instance moves to another pool and does not return")
 	var kinds []trail.ObstacleKind
 	for _, b := range x.Obstacles {
 		kinds = append(kinds, b.Kind)
@@ -78,13 +78,13 @@
 		trail.ObstacleNotReturned, trail.ObstacleEjected,
 	})
 	none := trail.ExplainCustomer(objects(), events(), "other")
-	assert.Assert(t, none.Found, "events name the customer")
+	assert.Assert(t, none.Found, "the events mention the customer")
 	assert.Equal(t, none.Obstacles[0].Kind, trail.ObstacleNoContract)
 	assert.Equal(t, none.LimitHits[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
 }
 
-// TestExplainInstance guards against naming the wrong entry process for a
-// release that waits, and against advice to wait for a silent process.
+// TestExplainInstance guards against naming the wrong entry process for an
+// unconfirmed release, and against advice to wait for a silent process.
 func TestExplainInstance(t *testing.T) {
 	x := trail.ExplainInstance(objects(), events(), "i2")
 	assert.DeepEqual(t, x.Obstacles, []trail.Obstacle{
@@ -102,12 +102,13 @@
 	assert.Equal(t, due[0].Maintenance, "kernel")
 	assert.Equal(t, due[1].Kind, trail.ObstacleDisruptionLimit)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
-	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Obstacles), 0, "maintained since the declaration")
+	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Obstacles), 0, "the instance was maintained after the declaration")
 	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Found)
 }
 
-// TestExplainRequest guards against an unknown outcome without the events of
-// the upstream around it, and against events from long before.
+// TestExplainRequest guards against an explanation of a request with an unknown
+// outcome that omits the events of its instance around that time, or includes
+// much older events.
 func TestExplainRequest(t *testing.T) {
 	x := trail.ExplainRequest(objects(), events(), "r3")
 	assert.Equal(t, len(x.Events), 1)
@@ -117,8 +118,8 @@
 	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
 }
 
-// TestExplainIsBounded guards against an explanation that grows with the
-// length of the time line.
+// TestExplainIsBounded guards against an explanation whose size grows with the
+// number of events.
 func TestExplainIsBounded(t *testing.T) {
 	var many []model.Event
 	for i := range 3 * trail.MaxEvents {
--- a/core/state/trail/hybrid.go
+++ b/core/state/trail/hybrid_clock.go
@@ -7,18 +7,19 @@
 	"camphorridge/core/state/model"
 )
 
-// MaxClockOffset bounds how far a stamp from another process may be ahead of the
-// own clock. Without the bound, one machine with a wrong clock would move the
-// stamps of all processes into the future for good.
+// MaxClockOffset is the maximum time by which a stamp from another process may
+// be ahead of the local clock. Without the limit, one machine with a wrong clock
+// would permanently move the stamps of all processes into the future.
 const MaxClockOffset = clock.Minute
 
-// HybridClock is a hybrid logical clock: it follows the machine's clock and never
-// falls behind a stamp that it has issued or observed. It is not safe for use
-// by several goroutines.
+// HybridClock is a hybrid logical clock: it follows the local clock but never
+// falls behind a stamp that it has issued or observed. It is not safe for
+// concurrent use.
 type HybridClock struct {
-	// Last is the largest stamp issued or observed; it never goes back.
+	// Last is the largest stamp issued or observed; it never decreases.
 	Last model.Stamp
-	// Rejected counts the observed stamps that were too far ahead.
+	// Rejected counts the observed stamps that were more than MaxClockOffset
+	// ahead.
 	Rejected int64
 }
 
@@ -35,9 +36,9 @@
 	return h.Last
 }
 
-// Observe takes note of a stamp that a message carried, so that later events
-// of this process come after it. A stamp more than MaxAhead in the future is
-// counted and ignored; Observe then returns false.
+// Observe records a stamp received in a message, so that later events of this
+// process come after it. A stamp more than MaxClockOffset ahead of now is counted
+// and ignored; Observe then returns false.
 func (h *HybridClock) Observe(s model.Stamp, now clock.Millis) bool {
 	if s.Wall > now+MaxClockOffset {
 		h.Rejected++
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -8,54 +8,58 @@
 	"camphorridge/core/state/model"
 )
 
-// Measures are the three figures that operators weigh, taken from the time
-// line and the present objects.
+// Measures are the three figures that operators balance: the delay of contract
+// changes, the progress of moves and maintenance, and the buffer of idle
+// instances. They are computed from the events and the current state.
 type Measures struct {
-	// Rollouts lists the contract changes in the order of their versions.
+	// Rollouts lists the rollouts of contract changes in the order of versions.
 	Rollouts []Rollout
-	// MedianRollout and Worst are over the changes that are in force everywhere.
+	// MedianRollout and Worst are the median and the longest
+	// rollout time of the changes that are in effect on all entry processes.
 	MedianRollout  clock.Millis
 	LongestRollout clock.Millis
-	// Moves is the number of instances that changed pool.
+	// Moves is the number of moves of an instance to another pool.
 	Moves int
-	// FinishedMaintenances is the number of finished maintenances.
+	// FinishedMaintenances is the number of finished maintenances of instances.
 	FinishedMaintenances int
 	Waves                []Wave
-	// IdleInstances is the number of serving instances beyond what is promised: the
-	// buffer.
+	// IdleInstances is the number of serving instances beyond the promised number:
+	// the buffer.
 	IdleInstances int
 }
 
-// Rollout is how long an accepted change took to be in force.
+// Rollout describes how long an accepted contract change took to take effect.
 type Rollout struct {
 	Version model.Version
-	// Elapsed is the time until the last entry process had it; 0 while one
-	// lacks it.
+	// Elapsed is the time until the last entry process applied the change; 0
+	// while Missing is not empty.
 	Elapsed clock.Millis
-	// Missing lists the entry processes that have not reported it.
+	// Missing lists the entry processes that have not reported the change as
+	// applied.
 	Missing []model.Process
 }
 
-// Wave is how far a declared maintenance is.
+// Wave describes the progress of a declared maintenance.
 type Wave struct {
 	Name string
-	// Maintained and All count the selected instances.
+	// Maintained and All are the number of instances that have returned from
+	// the maintenance and the number of instances that it selects.
 	Maintained int
 	Selected   int
-	// Elapsed is the time from the declaration to the last return, or to now
-	// while instances are left.
+	// Elapsed is the time from the declaration until the last instance returned
+	// from maintenance, or until now while instances remain.
 	Elapsed clock.Millis
 }
 
-// Measure computes the figures. Events must be in causal order, as Merge
-// returns them; changes whose events were dropped are left out.
+// Measure computes the measures. The events must be in causal order, as returned
+// by Merge. Changes whose events were dropped from the log are not included.
 func Measure(o CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
 		switch e.Kind {
 		case model.EventChange:
 			if e.Customer != "" {
-				m.Rollouts = append(m.Rollouts, rollout(o, e, events[i:]))
+				m.Rollouts = append(m.Rollouts, measureRollout(o, e, events[i:]))
 			}
 		case model.EventMoved:
 			m.Moves++
@@ -63,15 +67,15 @@
 			m.FinishedMaintenances++
 		}
 	}
-	m.MedianRollout, m.LongestRollout = spread(m.Rollouts)
+	m.MedianRollout, m.LongestRollout = medianAndLongest(m.Rollouts)
 	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
-		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
+		m.Waves = append(m.Waves, measureWave(o, o.Maintenance[name]))
 	}
-	m.IdleInstances = idle(o)
+	m.IdleInstances = idleInstances(o)
 	return m
 }
 
-func rollout(o CurrentState, change model.Event, after []model.Event) Rollout {
+func measureRollout(o CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
 	for _, p := range o.Processes {
@@ -90,7 +94,7 @@
 	return r
 }
 
-func spread(all []Rollout) (median, worst clock.Millis) {
+func medianAndLongest(all []Rollout) (median, worst clock.Millis) {
 	var times []clock.Millis
 	for _, r := range all {
 		if len(r.Missing) == 0 {
@@ -104,7 +108,7 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
-func wave(o CurrentState, m model.Maintenance) Wave {
+func measureWave(o CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
 	last := m.DeclaredAt
 	for _, i := range o.Instances {
@@ -124,9 +128,10 @@
 	return w
 }
 
-// idle counts the serving instances beyond the promise of their pools. Spare
-// instances are all idle, as nothing is promised in a spare pool.
-func idle(o CurrentState) int {
+// idleInstances returns the number of serving instances beyond the number that
+// contracts promise in their pools. All instances of a spare pool count as idle,
+// because contracts promise no instances in it.
+func idleInstances(o CurrentState) int {
 	promised := map[model.Pool]int{}
 	for _, c := range o.Contracts {
 		for _, p := range c.Pools {
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -9,8 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// TestMeasure guards against a roll-out that counts as done while an entry
-// process lacks the change, and against a wave or buffer that is miscounted.
+// TestMeasure guards against a rollout that counts as complete while an entry
+// process has not applied the change, and against wrong counts of a maintenance
+// wave or of idle instances.
 func TestMeasure(t *testing.T) {
 	at := func(ms clock.Millis, p model.Process, k model.EventKind, v model.Version) model.Event {
 		return model.Event{Stamp: model.Stamp{Wall: ms}, Process: p, Kind: k, Version: v, Customer: "acme"}
--- a/core/state/trail/merge.go
+++ b/core/state/trail/merge.go
@@ -7,17 +7,17 @@
 	"camphorridge/core/state/model"
 )
 
-// Merge returns the events of all processes in one order: by stamp, then
-// process, then sequence number. The order is causal, since a process
-// observes the stamp of a message before it records what follows from it.
-// An event that several lists contain appears once.
+// Merge merges the events of all processes and orders them by stamp, then
+// process, then sequence number. The order is causal, because a process observes
+// the stamp of a message before it records events caused by the message. An event
+// that is contained in several lists appears once.
 func Merge(lists ...[]model.Event) []model.Event {
 	out := slices.Concat(lists...)
-	slices.SortFunc(out, compare)
+	slices.SortFunc(out, compareEvents)
 	return slices.Compact(out)
 }
 
-func compare(a, b model.Event) int {
+func compareEvents(a, b model.Event) int {
 	return cmp.Or(
 		cmp.Compare(a.Stamp.Wall, b.Stamp.Wall),
 		cmp.Compare(a.Stamp.Count, b.Stamp.Count),
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -7,11 +7,13 @@
 	"camphorridge/core/state/model"
 )
 
-// contextSpan is how long before and after a request the events of its
-// instances belong to the explanation; it is the default timeout of a request.
-const contextSpan = 5 * clock.Second
+// relatedEventsSpan is the time before and after a request in which the events of its
+// instances are included in the explanation. It equals the default timeout of a
+// request.
+const relatedEventsSpan = 5 * clock.Second
 
-// ExplainCustomer explains a customer. The events must be merged.
+// ExplainCustomer explains the state of a customer. The events must be in the
+// order of Merge.
 func ExplainCustomer(o CurrentState, events []model.Event, name model.Customer) Explanation {
 	c, known := o.Contracts[name]
 	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
@@ -20,26 +22,27 @@
 		x.Obstacles = []Obstacle{{Kind: ObstacleNoContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
-	instances := sorted(o.Instances)
+	instances := sortedByKey(o.Instances)
 	for _, share := range c.Pools {
 		x.addPool(share, false, instances)
 	}
 	if c.Spare > 0 {
 		x.addPool(model.PoolShare{Pool: c.SparePool, Instances: c.Spare}, true, instances)
 	}
-	if b, reached := disruption(o, c); reached {
+	if b, reached := disruptionObstacle(o, c); reached {
 		x.Obstacles = append(x.Obstacles, b)
 	}
-	latest := latestUpstreams(events)
+	latest := latestUpstreamEvents(events)
 	for _, i := range instances {
-		if holds(c, i.Pool) {
-			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
+		if contractHasPool(c, i.Pool) {
+			x.Obstacles = append(x.Obstacles, instanceObstacles(o, latest, i)...)
 		}
 	}
 	return x
 }
 
-// ExplainInstance explains an instance. The events must be merged.
+// ExplainInstance explains the state of an instance. The events must be in the
+// order of Merge.
 func ExplainInstance(o CurrentState, events []model.Event, id model.InstanceID) Explanation {
 	i, known := o.Instances[id]
 	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Found: known, Instance: i}
@@ -47,20 +50,20 @@
 	if !known {
 		return x
 	}
-	x.Obstacles = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
+	x.Obstacles = append(instanceObstacles(o, latestUpstreamEvents(events), i), maintenanceObstacles(o, i)...)
 	return x
 }
 
-// ExplainRequest explains a request by its identity. The events must be
-// merged.
+// ExplainRequest explains what happened to the request with the given ID. The
+// events must be in the order of Merge.
 func ExplainRequest(o CurrentState, events []model.Event, id string) Explanation {
 	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
 	x.collect(events, func(e model.Event) bool { return e.Request == id })
 	if len(x.Events) == 0 {
 		return x
 	}
-	from := x.Events[0].Stamp.Wall - contextSpan
-	to := x.Events[len(x.Events)-1].Stamp.Wall + contextSpan
+	from := x.Events[0].Stamp.Wall - relatedEventsSpan
+	to := x.Events[len(x.Events)-1].Stamp.Wall + relatedEventsSpan
 	involved := map[model.InstanceID]bool{}
 	for _, e := range x.Events {
 		if e.Instance != "" {
@@ -75,17 +78,18 @@
 	if over := len(x.RelatedEvents) - MaxEvents; over > 0 {
 		x.RelatedEvents = slices.Clone(x.RelatedEvents[over:])
 	}
-	latest := latestUpstreams(events)
-	for _, i := range sorted(o.Instances) {
+	latest := latestUpstreamEvents(events)
+	for _, i := range sortedByKey(o.Instances) {
 		if involved[i.ID] {
-			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceObstacles(o, latest, i)...)
 		}
 	}
 	return x
 }
 
-// addPool compares a pool with what the contract promises in it. Instances
-// that come back from maintenance by themselves call for no action.
+// addPool adds the state of a pool to the explanation, and an obstacle if fewer
+// instances are serving than the contract promises. If instances that return from
+// a release or maintenance cover the shortfall, the advice is to wait.
 func (x *Explanation) addPool(share model.PoolShare, spare bool, instances []model.Instance) {
 	p := PoolState{Pool: share.Pool, Promised: share.Instances, Spare: spare}
 	returning := 0
@@ -120,16 +124,17 @@
 	x.Obstacles = append(x.Obstacles, b)
 }
 
-func holds(c model.Contract, p model.Pool) bool {
+func contractHasPool(c model.Contract, p model.Pool) bool {
 	return slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
 }
 
-// disruption reports whether the customer's limit of unavailable instances is
-// reached by released instances and those in maintenance.
-func disruption(o CurrentState, c model.Contract) (b Obstacle, reached bool) {
+// disruptionObstacle returns the obstacle of a customer's limit of unavailable
+// instances and reports whether the limit is reached. Instances that are being
+// released or are in maintenance count as unavailable.
+func disruptionObstacle(o CurrentState, c model.Contract) (b Obstacle, reached bool) {
 	out := 0
 	for _, i := range o.Instances {
-		if holds(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
+		if contractHasPool(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
 			out++
 		}
 	}
@@ -143,9 +148,9 @@
 	return b, out >= c.MaxUnavailable
 }
 
-// latestUpstreams returns, for each instance, the last event that says
-// whether it is there and fit for work.
-func latestUpstreams(events []model.Event) map[model.InstanceID]model.Event {
+// latestUpstreamEvents returns, for each instance, the last event that reports
+// whether the upstream is present and healthy.
+func latestUpstreamEvents(events []model.Event) map[model.InstanceID]model.Event {
 	latest := map[model.InstanceID]model.Event{}
 	for _, e := range events {
 		switch e.Kind {
@@ -157,8 +162,9 @@
 	return latest
 }
 
-// instanceBlocks returns what keeps an instance from serving or moving on.
-func instanceBlocks(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
+// instanceObstacles returns the obstacles that keep an instance from serving or
+// from leaving its current phase.
+func instanceObstacles(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
 	var blocks []Obstacle
 	switch i.Phase {
 	case model.PhaseReleasing:
@@ -166,7 +172,7 @@
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
 				blocks = append(blocks, Obstacle{
 					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
-					Since: i.PhaseSince, Advice: confirmAdvice(o, p),
+					Since: i.PhaseSince, Advice: releaseAdvice(o, p),
 				})
 			}
 		}
@@ -193,14 +199,15 @@
 	return blocks
 }
 
-// waveBlocks returns the declared maintenance that has not reached a serving
-// instance, with the customers whose limits hold it up.
-func waveBlocks(o CurrentState, i model.Instance) []Obstacle {
+// maintenanceObstacles returns an obstacle for each declared maintenance that is
+// due for a serving instance, and one for each customer of its pool whose limit
+// of unavailable instances delays it.
+func maintenanceObstacles(o CurrentState, i model.Instance) []Obstacle {
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
 	var blocks []Obstacle
-	for _, m := range sorted(o.Maintenance) {
+	for _, m := range sortedByKey(o.Maintenance) {
 		if !m.Selector.Matches(i) || i.MaintainedAt >= m.DeclaredAt {
 			continue
 		}
@@ -212,8 +219,8 @@
 	if len(blocks) == 0 {
 		return nil
 	}
-	for _, c := range sorted(o.Contracts) {
-		if b, reached := disruption(o, c); reached && holds(c, i.Pool) {
+	for _, c := range sortedByKey(o.Contracts) {
+		if b, reached := disruptionObstacle(o, c); reached && contractHasPool(c, i.Pool) {
 			b.Instance, b.Pool = i.ID, i.Pool
 			blocks = append(blocks, b)
 		}
--- a/core/state/trail/trail_test.go
+++ b/core/state/trail/trail_test.go
@@ -13,8 +13,8 @@
 	"camphorridge/core/state/trail"
 )
 
-// TestMergeIsCausal guards against an effect that the time line shows before
-// its cause when the clocks of the processes differ.
+// TestMergeIsCausal guards against merged events in which an effect precedes its
+// cause when the clocks of the processes differ.
 func TestMergeIsCausal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 5).Draw(t, "processes")
@@ -54,8 +54,8 @@
 	})
 }
 
-// TestHybridBounds guards against a machine with a wrong clock that moves the
-// stamps of others, and against a counter that wraps and goes back.
+// TestHybridBounds guards against a machine with a wrong clock that advances the
+// stamps of other machines, and against a counter that overflows to 0.
 func TestHybridBounds(t *testing.T) {
 	var h trail.HybridClock
 	assert.Assert(t, !h.Observe(model.Stamp{Wall: 1000 + trail.MaxClockOffset + 1}, 1000))
@@ -64,11 +64,11 @@
 	full := model.Stamp{Wall: 1000, Count: math.MaxUint32}
 	assert.Assert(t, h.Observe(full, 1000))
 	assert.Assert(t, full.Less(h.Next(1000)))
-	assert.Assert(t, full.Less(h.Next(900)), "the clock went back")
+	assert.Assert(t, full.Less(h.Next(900)), "stamps must increase when the clock is set back")
 }
 
-// TestLogKeepsNewest guards against a log that grows without bound, loses its
-// newest events or miscounts what it dropped.
+// TestLogKeepsNewest guards against a log that grows without limit, loses its
+// newest events or miscounts the dropped ones.
 func TestLogKeepsNewest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.IntRange(1, 20).Draw(t, "capacity")
@@ -89,8 +89,8 @@
 	})
 }
 
-// BenchmarkMerge measures the merge of the time lines of 20 processes with
-// 5,000 events each.
+// BenchmarkMerge measures the merge of the events of 20 processes with 5,000
+// events each.
 func BenchmarkMerge(b *testing.B) {
 	lists := make([][]model.Event, 20)
 	for p := range lists {
