--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -67,7 +67,7 @@
 // call queues an input for the event loop and waits for its answer. interrupted
 // is the kind of the error if the caller's context or the event loop ends before
 // the answer.
-func (g *Group[S, C]) call(ctx context.Context, in input, lost Kind) (answer, error) {
+func (g *Group[S, C]) call(ctx context.Context, in input, interrupted Kind) (answer, error) {
 	if isClosed(g.done) {
 		return answer{}, failf(in.op, KindStopped, "the member stopped")
 	}
@@ -82,14 +82,14 @@
 	case a := <-in.reply:
 		return a, a.err
 	case <-ctx.Done():
-		return answer{}, failf(in.op, lost, "%w", ctx.Err())
+		return answer{}, failf(in.op, interrupted, "%w", ctx.Err())
 	case <-g.done:
 	}
 	select {
 	case a := <-in.reply:
 		return a, a.err
 	default:
-		return answer{}, failf(in.op, lost, "the member stopped")
+		return answer{}, failf(in.op, interrupted, "the member stopped")
 	}
 }
 
@@ -114,18 +114,18 @@
 // neither modify nor retain the state, and must be short because it blocks the
 // member.
 func (g *Group[S, C]) Query(ctx context.Context, f func(*fleet.State)) error {
-	// Either the event loop or a caller whose context has ended sets claimed, so
-	// that f never runs after Query has returned.
-	var claim atomic.Bool
+	// claimed is set either by the event loop before it runs f, or by the caller
+	// when its context ends, so that f never runs after Query has returned.
+	var claimed atomic.Bool
 	finished := make(chan struct{})
 	in := input{kind: inputQuery, op: "query", query: func(s *fleet.State) {
-		if claim.CompareAndSwap(false, true) {
+		if claimed.CompareAndSwap(false, true) {
 			defer close(finished)
 			f(s)
 		}
 	}}
 	_, err := g.call(ctx, in, KindCanceled)
-	if err != nil && !claim.CompareAndSwap(false, true) {
+	if err != nil && !claimed.CompareAndSwap(false, true) {
 		<-finished
 		return nil
 	}
--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -115,20 +115,20 @@
 	partitioned map[raft.MemberID]bool
 }
 
-func (l *network) send(messages []raft.Message) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (n *network) send(messages []raft.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, m := range messages {
-		if to := l.groups[m.To]; to != nil && !l.partitioned[m.From] && !l.partitioned[m.To] {
+		if to := n.groups[m.To]; to != nil && !n.partitioned[m.From] && !n.partitioned[m.To] {
 			to.Step([]raft.Message{m})
 		}
 	}
 }
 
-func (l *network) setPartitioned(id raft.MemberID, cut bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.partitioned[id] = cut
+func (n *network) setPartitioned(id raft.MemberID, partitioned bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.partitioned[id] = partitioned
 }
 
 // cluster is a group whose members run in one process on a fake clock.
@@ -172,10 +172,10 @@
 }
 
 // until advances the clock in steps of 2 ms until the condition holds.
-func (c *cluster) until(what string, f func() bool) {
+func (c *cluster) until(condition string, f func() bool) {
 	c.t.Helper()
 	for deadline := time.Now().Add(time.Minute); !f(); c.clock.Advance(2) {
-		assert.Assert(c.t, time.Now().Before(deadline), "timed out after a minute: %s", what)
+		assert.Assert(c.t, time.Now().Before(deadline), "timed out after a minute: %s", condition)
 		time.Sleep(time.Millisecond / 2)
 	}
 }
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -74,19 +74,19 @@
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
 	follower := others(lead)[0]
-	fire, err := c.group(follower).Watch(t.Context(), 0)
+	fired, err := c.group(follower).Watch(t.Context(), 0)
 	assert.NilError(t, err)
 
-	var ends []<-chan outcome
+	var pending []<-chan outcome
 	for i := range 100 {
-		ends = append(ends, c.propose(lead, apply(fmt.Sprint("c", i), "")))
+		pending = append(pending, c.propose(lead, apply(fmt.Sprint("c", i), "")))
 	}
-	for _, end := range ends {
-		o := c.awaitOutcome(end)
+	for _, ch := range pending {
+		o := c.awaitOutcome(ch)
 		assert.NilError(t, o.err)
 		assert.Equal(t, o.result.Kind, model.ResultApplied)
 	}
-	c.until("the watch fires", func() bool { return isClosed(fire) })
+	c.until("the watch fires", func() bool { return isClosed(fired) })
 	for _, id := range []raft.MemberID{1, 2, 3} {
 		c.until("all changes are applied", func() bool { return c.contracts(id) == 100 })
 	}
@@ -110,22 +110,22 @@
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
 	g := c.group(lead)
-	hold, held := make(chan struct{}), make(chan struct{})
+	release, blocked := make(chan struct{}), make(chan struct{})
 	go func() {
 		_ = g.Query(context.Background(), func(*fleet.State) {
-			close(held)
-			<-hold
+			close(blocked)
+			<-release
 		})
 	}()
-	<-held
-	var ends []<-chan outcome
+	<-blocked
+	var pending []<-chan outcome
 	for i := range 50 {
-		ends = append(ends, c.propose(lead, apply(fmt.Sprint("c", i), "")))
+		pending = append(pending, c.propose(lead, apply(fmt.Sprint("c", i), "")))
 	}
 	c.until("50 proposals are queued", func() bool { return g.ring.Len() >= 50 })
-	close(hold)
-	for _, end := range ends {
-		assert.NilError(t, c.awaitOutcome(end).err)
+	close(release)
+	for _, ch := range pending {
+		assert.NilError(t, c.awaitOutcome(ch).err)
 	}
 	disk := c.disks[lead]
 	disk.mu.Lock()
@@ -143,11 +143,11 @@
 	assert.NilError(t, first.err)
 
 	c.network.setPartitioned(old, true)
-	end := c.propose(old, apply("b", "request-2"))
+	pending := c.propose(old, apply("b", "request-2"))
 	read := make(chan error, 1)
 	go func() { read <- c.group(old).ReadBarrier(context.Background()) }()
 	lead := c.leader(others(old)...)
-	kind, _ := kindOf(c.awaitOutcome(end).err)
+	kind, _ := kindOf(c.awaitOutcome(pending).err)
 	assert.Assert(t, kind == KindOutcomeUnknown || kind == KindNotLeader)
 	assert.Assert(t, <-read != nil)
 
@@ -163,21 +163,21 @@
 // remains the leader, or does not recover once writes succeed again.
 func TestDisk(t *testing.T) {
 	c := newCluster(t, 3)
-	bad := c.leader(1, 2, 3)
-	assert.NilError(t, c.awaitOutcome(c.propose(bad, apply("a", ""))).err)
-	c.disks[bad].failing.Store(true)
-	kind, _ := kindOf(c.awaitOutcome(c.propose(bad, apply("b", "request-2"))).err)
+	full := c.leader(1, 2, 3)
+	assert.NilError(t, c.awaitOutcome(c.propose(full, apply("a", ""))).err)
+	c.disks[full].failing.Store(true)
+	kind, _ := kindOf(c.awaitOutcome(c.propose(full, apply("b", "request-2"))).err)
 	assert.Equal(t, kind, KindOutcomeUnknown)
-	kind, _ = kindOf(c.awaitOutcome(c.propose(bad, apply("c", ""))).err)
+	kind, _ = kindOf(c.awaitOutcome(c.propose(full, apply("c", ""))).err)
 	assert.Equal(t, kind, KindDisk)
 
-	lead := c.leader(others(bad)...)
+	lead := c.leader(others(full)...)
 	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("b", "request-2"))).err)
-	c.until("retries", func() bool { return c.status(bad).Counts.DiskFailures > 2 })
-	assert.Assert(t, c.status(bad).DiskError != "")
-	assert.Equal(t, c.contracts(bad), 1)
-	c.disks[bad].failing.Store(false)
-	c.until("the member recovers", func() bool { return c.contracts(bad) == 2 && c.status(bad).DiskError == "" })
+	c.until("retries", func() bool { return c.status(full).Counts.DiskFailures > 2 })
+	assert.Assert(t, c.status(full).DiskError != "")
+	assert.Equal(t, c.contracts(full), 1)
+	c.disks[full].failing.Store(false)
+	c.until("the member recovers", func() bool { return c.contracts(full) == 2 && c.status(full).DiskError == "" })
 }
 
 // join adds a member and waits until it is a voter and the group has size
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -172,9 +172,9 @@
 // leadership. Their error has KindOutcomeUnknown, or KindNotLeader for reads:
 // the next leader may still commit the proposals.
 func (g *Group[S, C]) failPending(reason string) {
-	for index, w := range g.pendingProposals {
+	for index, p := range g.pendingProposals {
 		g.counts.OutcomesUnknown++
-		w.reply <- answer{err: failf(w.op, KindOutcomeUnknown, "%s before entry %d was committed", reason, index)}
+		p.reply <- answer{err: failf(p.op, KindOutcomeUnknown, "%s before entry %d was committed", reason, index)}
 	}
 	clear(g.pendingProposals)
 	for _, reply := range g.pendingReads {
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -95,9 +95,9 @@
 	}
 	g.applied = e.Index
 	g.counts.Applied++
-	if w, ok := g.pendingProposals[e.Index]; ok && w.term == e.Term {
+	if p, ok := g.pendingProposals[e.Index]; ok && p.term == e.Term {
 		delete(g.pendingProposals, e.Index)
-		w.reply <- answer{result: r}
+		p.reply <- answer{result: r}
 	}
 	return nil
 }
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -44,14 +44,14 @@
 	for seed := range uint64(50) {
 		w, l := newConverged(t, seed)
 		term := l.node.Term()
-		cut := w.hosts[0]
-		if cut == l {
-			cut = w.hosts[1]
+		isolated := w.hosts[0]
+		if isolated == l {
+			isolated = w.hosts[1]
 		}
-		cut.partition = 1
+		isolated.partition = 1
 		w.advance(60_000)
-		assert.Equal(t, cut.node.Term(), term)
-		cut.partition = 0
+		assert.Equal(t, isolated.node.Term(), term)
+		isolated.partition = 0
 		w.advance(2000)
 		assert.Equal(t, w.leader(), l)
 		for _, h := range w.hosts {
@@ -75,7 +75,7 @@
 		w.submit(old, request{kind: opRead})
 		read := len(w.history) - 1
 		w.advance(500)
-		assert.Equal(t, w.history[read].Return, forever)
+		assert.Equal(t, w.history[read].Return, noReturn)
 		assert.Assert(t, w.linearizable())
 
 		w.until(t, w.converged)
@@ -100,7 +100,7 @@
 				return w.converged()
 			})
 			w.submit(w.leader(), request{kind: opWrite, new: int64(100 + i)})
-			w.until(t, func() bool { return w.history[len(w.history)-1].Return != forever })
+			w.until(t, func() bool { return w.history[len(w.history)-1].Return != noReturn })
 		}
 		w.recover()
 		assert.NilError(t, w.err)
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -115,7 +115,7 @@
 		for range 5 {
 			w.run(10)
 		}
-		if last := len(w.history) - 1; last >= 0 && w.history[last].Return != forever && w.history[last].Input.(request).kind == opRead {
+		if last := len(w.history) - 1; last >= 0 && w.history[last].Return != noReturn && w.history[last].Input.(request).kind == opRead {
 			return true
 		}
 	}
@@ -220,24 +220,24 @@
 	// A check has 30 events and takes 0.2 ms, so 20 runs of rapid's 100 are
 	// cheap.
 	for range 20 {
-		rapid.Check(t, anyOrder)
+		rapid.Check(t, checkAnyOrder)
 	}
 }
 
-func anyOrder(t *rapid.T) {
+func checkAnyOrder(t *rapid.T) {
 	w := newWorld(rapid.Uint64Range(1, 1000).Draw(t, "seed"), 3, 3)
 	for w.leader() == nil {
 		w.run(5)
 	}
 	host := func() *host { return w.hosts[rapid.IntRange(0, 2).Draw(t, "host")] }
-	take := func() Message {
+	pick := func() Message {
 		if len(w.network) == 0 {
 			t.Skip("no message is in flight")
 		}
 		return w.network[rapid.IntRange(0, len(w.network)-1).Draw(t, "message")].m
 	}
 	t.Repeat(map[string]func(*rapid.T){
-		"deliver": func(*rapid.T) { w.deliver(take()) },
+		"deliver": func(*rapid.T) { w.deliver(pick()) },
 		"time":    func(t *rapid.T) { w.run(clock.Millis(rapid.IntRange(1, 150).Draw(t, "ms"))) },
 		"request": func(*rapid.T) {
 			if len(w.history) < 30 {
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -46,14 +46,14 @@
 	// frozen is set while the process is paused and gets no processor time.
 	frozen bool
 	// value, applied and commit are the volatile state of the running node.
-	value   int64
-	applied uint64
-	commit  uint64
-	waiting map[uint64]waiter
-	reading map[uint64]int
+	value         int64
+	applied       uint64
+	commit        uint64
+	pendingWrites map[uint64]pendingWrite
+	pendingReads  map[uint64]int
 }
 
-type waiter struct {
+type pendingWrite struct {
 	term uint64
 	op   int
 }
@@ -73,8 +73,8 @@
 	network []inFlight
 	lastID  MemberID
 	cfg     Config
-	// snapEvery is the number of applied entries between two snapshots.
-	snapEvery        uint64
+	// snapshotInterval is the number of applied entries between two snapshots.
+	snapshotInterval uint64
 	lossPercent      int
 	duplicatePercent int
 	maxDelay         int
@@ -96,10 +96,10 @@
 }
 
 const (
-	opWrite = 'w'
-	opSwap  = 'c'
-	opRead  = 'r'
-	forever = int64(1) << 62
+	opWrite  = 'w'
+	opSwap   = 'c'
+	opRead   = 'r'
+	noReturn = int64(1) << 62
 )
 
 // register is the sequential model of the register. An output of -1 means that
@@ -128,7 +128,7 @@
 func newWorld(seed uint64, hosts, wanted int) *world {
 	r := rand.New(rand.NewPCG(seed, 1))
 	w := &world{
-		r: r, now: 1000, leaders: map[uint64]MemberID{}, snapEvery: uint64(4 + r.IntN(20)), maxDelay: 10,
+		r: r, now: 1000, leaders: map[uint64]MemberID{}, snapshotInterval: uint64(4 + r.IntN(20)), maxDelay: 10,
 		cfg: Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 60 + r.IntN(400), ChunkBytes: 4 + r.IntN(30), KeepEntries: uint64(r.IntN(6)), Seed: seed},
 	}
 	var first []Member
@@ -165,7 +165,7 @@
 	h.node = New(w.cfg, StoredState{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
 	h.load(h.disk.snap, h.disk.data)
 	h.commit = 0
-	h.waiting, h.reading, h.writing = map[uint64]waiter{}, map[uint64]int{}, nil
+	h.pendingWrites, h.pendingReads, h.writing = map[uint64]pendingWrite{}, map[uint64]int{}, nil
 }
 
 func (h *host) load(meta SnapshotMeta, data []byte) {
@@ -290,7 +290,7 @@
 	for _, id := range out.NeedSnapshot {
 		h.node.ProvideSnapshot(id, h.disk.snap, h.disk.data)
 	}
-	if h.applied >= h.disk.snap.Index+w.snapEvery {
+	if h.applied >= h.disk.snap.Index+w.snapshotInterval {
 		w.snapshot(h)
 	}
 }
@@ -339,10 +339,10 @@
 	if e.Kind == EntryChange {
 		result = h.change(decodeRequest(e.Data))
 	}
-	if wait, ok := h.waiting[e.Index]; ok && wait.term == e.Term {
+	if wait, ok := h.pendingWrites[e.Index]; ok && wait.term == e.Term {
 		w.reply(wait.op, result)
 	}
-	delete(h.waiting, e.Index)
+	delete(h.pendingWrites, e.Index)
 }
 
 func (h *host) change(q request) int64 {
@@ -371,18 +371,18 @@
 	}
 	op := len(w.history)
 	w.operationClock++
-	record := porcupine.Operation{ClientId: op, Input: q, Call: w.operationClock, Output: int64(-1), Return: forever}
+	record := porcupine.Operation{ClientId: op, Input: q, Call: w.operationClock, Output: int64(-1), Return: noReturn}
 	if q.kind == opRead {
 		if h.node.ReadIndex(uint64(op), w.now) != nil {
 			return
 		}
-		h.reading[uint64(op)] = op
+		h.pendingReads[uint64(op)] = op
 	} else {
 		index, term, err := h.node.Propose(q.encode(), w.now)
 		if err != nil {
 			return
 		}
-		h.waiting[index] = waiter{term, op}
+		h.pendingWrites[index] = pendingWrite{term, op}
 	}
 	w.history = append(w.history, record)
 	w.process(h)
@@ -397,9 +397,9 @@
 	if r.Index > h.applied {
 		w.failf("host %d answers a read at index %d with only %d applied", h.self.ID, r.Index, h.applied)
 	}
-	if op, ok := h.reading[r.Context]; ok {
+	if op, ok := h.pendingReads[r.Context]; ok {
 		w.reply(op, h.value)
-		delete(h.reading, r.Context)
+		delete(h.pendingReads, r.Context)
 	}
 }
 
@@ -407,7 +407,7 @@
 // an answer do not constrain the history and are left out.
 func (w *world) linearizable() bool {
 	done := slices.DeleteFunc(slices.Clone(w.history), func(o porcupine.Operation) bool {
-		return o.Input.(request).kind == opRead && o.Return == forever
+		return o.Input.(request).kind == opRead && o.Return == noReturn
 	})
 	return porcupine.CheckOperations(register, done)
 }
--- a/core/state/store/disk_test.go
+++ b/core/state/store/disk_test.go
@@ -13,7 +13,7 @@
 
 // blockSize is the size in bytes of the blocks in which a crash of the fake disk
 // keeps or loses unsynced data.
-const block = 16
+const blockSize = 16
 
 // inode is a file. data is the content that a process reads, synced is the
 // content that is certain to survive a crash, and dirty is the set of blocks that
@@ -42,7 +42,7 @@
 
 // nextFailure counts an operation that modifies the disk and returns its injected
 // error, if any.
-func (d *memDisk) fails() error {
+func (d *memDisk) nextFailure() error {
 	if d.countdown == 0 {
 		return nil
 	}
@@ -68,7 +68,7 @@
 }
 
 func (d *memDisk) Open(path string) (store.File, error) {
-	if err := d.fails(); err != nil {
+	if err := d.nextFailure(); err != nil {
 		return nil, err
 	}
 	if d.names[path] == nil {
@@ -90,7 +90,7 @@
 }
 
 func (d *memDisk) Rename(from, to string) error {
-	if err := d.fails(); err != nil {
+	if err := d.nextFailure(); err != nil {
 		return err
 	}
 	d.names[to] = d.names[from]
@@ -99,7 +99,7 @@
 }
 
 func (d *memDisk) Remove(path string) error {
-	if err := d.fails(); err != nil {
+	if err := d.nextFailure(); err != nil {
 		return err
 	}
 	if d.names[path] == nil {
@@ -110,7 +110,7 @@
 }
 
 func (d *memDisk) SyncDir(string) error {
-	if err := d.fails(); err != nil {
+	if err := d.nextFailure(); err != nil {
 		return err
 	}
 	d.durable = map[string]*inode{}
@@ -131,9 +131,9 @@
 // crash simulates a crash of the process or, if machine is set, of the machine.
 // In a crash of the machine, each unsynced name and block is kept or lost at
 // random.
-func (d *memDisk) crash(t *rapid.T, lose bool) {
+func (d *memDisk) crash(t *rapid.T, machine bool) {
 	d.locked, d.powerCut, d.countdown = false, false, 0
-	if !lose {
+	if !machine {
 		return
 	}
 	coin := func() bool { return rapid.Bool().Draw(t, "kept") }
@@ -163,11 +163,11 @@
 			continue
 		}
 		data := append([]byte(nil), n.synced...)
-		for b := 0; b*block < len(n.data); b++ {
+		for b := 0; b*blockSize < len(n.data); b++ {
 			if n.dirty[b] && coin() {
-				end := min((b+1)*block, len(n.data))
+				end := min((b+1)*blockSize, len(n.data))
 				data = append(data, make([]byte, max(0, end-len(data)))...)
-				copy(data[b*block:end], n.data[b*block:end])
+				copy(data[b*blockSize:end], n.data[b*blockSize:end])
 			}
 		}
 		n.data, n.synced, n.dirty = data, append([]byte(nil), data...), map[int]bool{}
@@ -185,25 +185,25 @@
 
 // WriteAt writes half of the bytes when it fails, as may happen on a full disk.
 func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
-	err := f.disk.fails()
+	err := f.disk.nextFailure()
 	if err != nil {
 		p = p[:len(p)/2]
 	}
 	n := f.node
 	n.data = append(n.data, make([]byte, max(0, int(off)+len(p)-len(n.data)))...)
 	copy(n.data[off:], p)
-	for b := int(off) / block; b*block < int(off)+len(p); b++ {
+	for b := int(off) / blockSize; b*blockSize < int(off)+len(p); b++ {
 		n.dirty[b] = true
 	}
 	return len(p), err
 }
 
 func (f *memFile) Truncate(size int64) error {
-	if err := f.disk.fails(); err != nil {
+	if err := f.disk.nextFailure(); err != nil {
 		return err
 	}
 	f.node.data = f.node.data[:min(size, int64(len(f.node.data)))]
-	f.node.dirty[int(size)/block] = true
+	f.node.dirty[int(size)/blockSize] = true
 	return nil
 }
 
@@ -211,7 +211,7 @@
 // they are not written, as on Linux.
 func (f *memFile) Sync() error {
 	n := f.node
-	if err := f.disk.fails(); err != nil {
+	if err := f.disk.nextFailure(); err != nil {
 		if !f.disk.powerCut {
 			n.dirty = map[int]bool{}
 		}
@@ -220,8 +220,8 @@
 	synced := append([]byte(nil), n.synced[:min(len(n.synced), len(n.data))]...)
 	synced = append(synced, make([]byte, len(n.data)-len(synced))...)
 	for b := range n.dirty {
-		if lo := b * block; lo < len(n.data) {
-			copy(synced[lo:], n.data[lo:min(lo+block, len(n.data))])
+		if lo := b * blockSize; lo < len(n.data) {
+			copy(synced[lo:], n.data[lo:min(lo+blockSize, len(n.data))])
 		}
 	}
 	n.synced, n.dirty = synced, map[int]bool{}
--- a/core/state/store/filesystem.go
+++ b/core/state/store/filesystem.go
@@ -16,10 +16,9 @@
 	Close() error
 }
 
-// FileSystem is the set of file system operations that the store uses. Tests pass an
-// implementation that fails on demand.
+// FileSystem is the set of file system operations that the store uses. Tests pass
+// an implementation that fails on demand.
 type FileSystem interface {
-	// MakeDir creates a folder, if it is missing, and makes its name durable.
 	// MakeDir creates a folder, if it is missing, and makes its name durable.
 	MakeDir(dir string) error
 	// List returns the names of the files in a folder in any order.
--- a/core/state/store/meta.go
+++ b/core/state/store/meta.go
@@ -107,9 +107,9 @@
 }
 
 // writeMeta writes the term, the vote and the commit index to the meta file. The
-// written commit index is at most durable, the index up to which the log is
-// durable. A stored commit index beyond the end of the log therefore proves that
-// entries were lost.
+// log is durable up to the index durable, and the written commit index is at most
+// that. A stored commit index beyond the end of the log is therefore a sign of
+// lost entries.
 func (s *Store[C, F]) writeMeta(hard raft.HardState, durable uint64) error {
 	stored := hard
 	stored.Commit = min(hard.Commit, durable)
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -23,10 +23,10 @@
 }
 
 const (
-	first  = "log-00000000000000000001.seg"
-	second = "log-00000000000000000005.seg"
-	third  = "log-00000000000000000009.seg"
-	snap   = "snap-00000000000000000002.bin"
+	firstSegment  = "log-00000000000000000001.seg"
+	secondSegment = "log-00000000000000000005.seg"
+	thirdSegment  = "log-00000000000000000009.seg"
+	snapshotFile  = "snap-00000000000000000002.bin"
 )
 
 // TestOpenDamaged guards against a folder that opens although data is missing or
@@ -59,12 +59,12 @@
 		return func(t *testing.T, dir string) { assert.NilError(t, os.Remove(filepath.Join(dir, name))) }
 	}
 	// loseCommitted removes entry 9 after it was stored as committed.
-	lose := func(t *testing.T, dir string) {
+	loseCommitted := func(t *testing.T, dir string) {
 		s, err := open(dir, store.OSFileSystem{}, 100)
 		assert.NilError(t, err)
 		assert.NilError(t, s.Save(&raft.HardState{Term: 1, Vote: 2, Commit: 9}, nil))
 		assert.NilError(t, s.Close())
-		remove(third)(t, dir)
+		remove(thirdSegment)(t, dir)
 	}
 	cases := []struct {
 		name   string
@@ -76,29 +76,29 @@
 		text string
 	}{
 		{"nothing", func(*testing.T, string) {}, 11, 0, ""},
-		{"torn length", cut(third, 2*28+3), 10, 0, ""},
-		{"torn payload", cut(third, 3*28-1), 10, 0, ""},
-		{"damaged last record", flip(third, 2*28+20), 10, 0, ""},
-		{"damaged last length", flip(third, 2*28+1), 10, 0, ""},
-		{"zeros after the end", add(third, string(make([]byte, 4096))), 11, 0, ""},
-		{"torn first record of the last segment", cut(third, 9), 8, 0, ""},
-		{"last segment empty", cut(third, 0), 8, 0, ""},
+		{"torn length", cut(thirdSegment, 2*28+3), 10, 0, ""},
+		{"torn payload", cut(thirdSegment, 3*28-1), 10, 0, ""},
+		{"damaged last record", flip(thirdSegment, 2*28+20), 10, 0, ""},
+		{"damaged last length", flip(thirdSegment, 2*28+1), 10, 0, ""},
+		{"zeros after the end", add(thirdSegment, string(make([]byte, 4096))), 11, 0, ""},
+		{"torn first record of the last segment", cut(thirdSegment, 9), 8, 0, ""},
+		{"last segment empty", cut(thirdSegment, 0), 8, 0, ""},
 		{"empty new segment", add("log-00000000000000000012.seg", ""), 11, 0, ""},
 		{"temporary file", add("meta.tmp", "part"), 11, 0, ""},
-		{"record before the tail", flip(third, 28+20), 0, store.KindCorrupt, third + ", offset 28"},
-		{"length before the tail", flip(third, 28), 0, store.KindCorrupt, third + ", offset 28"},
-		{"record of an earlier segment", flip(first, 3*28+20), 0, store.KindCorrupt, first + ", offset 84"},
-		{"end of an earlier segment", cut(second, 3*28+5), 0, store.KindCorrupt, second + ", offset 84"},
-		{"whole record of an earlier segment", cut(second, 3*28), 0, store.KindGap, third},
-		{"segment missing", remove(second), 0, store.KindGap, third},
-		{"segment empty", cut(second, 0), 0, store.KindGap, third},
-		{"first segment missing", remove(first), 0, store.KindGap, second},
-		{"committed entries missing", lose, 0, store.KindGap, "ends at entry 8, but 9"},
+		{"record before the tail", flip(thirdSegment, 28+20), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
+		{"length before the tail", flip(thirdSegment, 28), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
+		{"record of an earlier segment", flip(firstSegment, 3*28+20), 0, store.KindCorrupt, firstSegment + ", offset 84"},
+		{"end of an earlier segment", cut(secondSegment, 3*28+5), 0, store.KindCorrupt, secondSegment + ", offset 84"},
+		{"whole record of an earlier segment", cut(secondSegment, 3*28), 0, store.KindGap, thirdSegment},
+		{"segment missing", remove(secondSegment), 0, store.KindGap, thirdSegment},
+		{"segment empty", cut(secondSegment, 0), 0, store.KindGap, thirdSegment},
+		{"first segment missing", remove(firstSegment), 0, store.KindGap, secondSegment},
+		{"committed entries missing", loseCommitted, 0, store.KindGap, "ends at entry 8, but 9"},
 		{"meta missing", remove("meta"), 0, store.KindNoMeta, "no meta file"},
 		{"meta damaged", flip("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
 		{"meta short", cut("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
-		{"snapshot damaged", flip(snap, 40), 0, store.KindCorrupt, snap},
-		{"snapshot short", cut(snap, 3), 0, store.KindCorrupt, snap},
+		{"snapshot damaged", flip(snapshotFile, 40), 0, store.KindCorrupt, snapshotFile},
+		{"snapshot short", cut(snapshotFile, 3), 0, store.KindCorrupt, snapshotFile},
 	}
 	origin := filepath.Join(t.TempDir(), "data")
 	s, err := open(origin, store.OSFileSystem{}, 100)
@@ -157,7 +157,7 @@
 	disk.countdown, disk.failure = 2, syscall.ENOSPC
 	isKind(t, s.Save(nil, long), store.KindDiskFull)
 	fill(t, s, 3, 3)
-	file := disk.names[filepath.Join("d", first)]
+	file := disk.names[filepath.Join("d", firstSegment)]
 	assert.Equal(t, len(file.data), 3*28)
 
 	disk.countdown, disk.failure = 2, syscall.EIO
@@ -165,7 +165,7 @@
 	file.data[40] ^= 1
 	err = s.Save(nil, []raft.Entry{{Index: 4, Term: 1}})
 	isKind(t, err, store.KindCorrupt)
-	assert.ErrorContains(t, err, first+", offset 28")
+	assert.ErrorContains(t, err, firstSegment+", offset 28")
 }
 
 // TestOrder guards against calls that would leave a gap in the log, lower the
@@ -198,7 +198,7 @@
 	assert.NilError(f, err)
 	assert.NilError(f, s.Save(nil, []raft.Entry{{Index: 1, Term: 1, Data: []byte("a")}, {Index: 2, Term: 1}}))
 	assert.NilError(f, s.Snapshot(raft.SnapshotMeta{Index: 1, Term: 1, Members: members}, []byte("state")))
-	seed := disk.names[filepath.Join("d", first)].data
+	seed := disk.names[filepath.Join("d", firstSegment)].data
 	snapshot := "snap-00000000000000000001.bin"
 	f.Add(seed, disk.names[filepath.Join("d", snapshot)].data)
 	f.Add(seed[:len(seed)-1], []byte("crsnap01"))
@@ -206,9 +206,9 @@
 	f.Fuzz(func(t *testing.T, segment, snap []byte) {
 		disk := newDisk()
 		disk.names = map[string]*inode{
-			filepath.Join("d", "meta"):   meta,
-			filepath.Join("d", first):    {data: segment, dirty: map[int]bool{}},
-			filepath.Join("d", snapshot): {data: snap, dirty: map[int]bool{}},
+			filepath.Join("d", "meta"):       meta,
+			filepath.Join("d", firstSegment): {data: segment, dirty: map[int]bool{}},
+			filepath.Join("d", snapshot):     {data: snap, dirty: map[int]bool{}},
 		}
 		s, err := open("d", disk, 0)
 		if err != nil {
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -49,17 +49,17 @@
 }
 
 func (s *Store[C, F]) recover(self raft.Member) error {
-	have, err := s.listDataFiles()
+	found, err := s.listDataFiles()
 	if err != nil {
 		return err
 	}
-	if err := s.loadMeta(have); err != nil {
+	if err := s.loadMeta(found); err != nil {
 		return err
 	}
-	if err := s.loadSnapshot(have.snaps); err != nil {
+	if err := s.loadSnapshot(found.snaps); err != nil {
 		return err
 	}
-	log, err := s.loadLog(have.logs)
+	log, err := s.loadLog(found.logs)
 	if err != nil {
 		return err
 	}
@@ -88,7 +88,7 @@
 	if err := s.files.SyncDir(s.dir); err != nil {
 		return dataFiles{}, ioError("sync folder", err)
 	}
-	var have dataFiles
+	var found dataFiles
 	for _, name := range names {
 		if strings.HasSuffix(name, tempExt) {
 			if err := s.files.Remove(s.path(name)); err != nil {
@@ -96,9 +96,9 @@
 			}
 			continue
 		}
-		have.meta = have.meta || name == metaName
+		found.meta = found.meta || name == metaName
 		if index, ok := parseIndex(name, snapPrefix, snapExt); ok {
-			have.snaps = append(have.snaps, index)
+			found.snaps = append(found.snaps, index)
 		}
 		if index, ok := parseIndex(name, logPrefix, logExt); ok {
 			size, err := s.files.Size(s.path(name))
@@ -109,16 +109,16 @@
 				s.droppedFiles = append(s.droppedFiles, name)
 				continue
 			}
-			have.logs = append(have.logs, index)
+			found.logs = append(found.logs, index)
 		}
 	}
-	slices.Sort(have.snaps)
-	slices.Sort(have.logs)
-	return have, s.removeDropped()
+	slices.Sort(found.snaps)
+	slices.Sort(found.logs)
+	return found, s.removeDropped()
 }
 
-func (s *Store[C, F]) loadMeta(have dataFiles) error {
-	if have.meta {
+func (s *Store[C, F]) loadMeta(found dataFiles) error {
+	if found.meta {
 		b, err := s.files.ReadFile(s.path(metaName))
 		if err != nil {
 			return ioError("read meta", err)
@@ -130,9 +130,9 @@
 		s.id, s.hard = m.id, m.hard
 		return nil
 	}
-	if len(have.snaps)+len(have.logs) > 0 {
+	if len(found.snaps)+len(found.logs) > 0 {
 		return &Error{Op: "open", Kind: KindNoMeta, Err: fmt.Errorf(
-			"%s contains %d snapshots and %d log segments but no meta file", s.dir, len(have.snaps), len(have.logs))}
+			"%s contains %d snapshots and %d log segments but no meta file", s.dir, len(found.snaps), len(found.logs))}
 	}
 	id, err := newMemberID()
 	if err != nil {
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -32,7 +32,7 @@
 // contain.
 type run struct {
 	disk  *memDisk
-	s     *store.Store[codec.Codec, *memDisk]
+	store *store.Store[codec.Codec, *memDisk]
 	id    raft.MemberID
 	hard  raft.HardState
 	snap  raft.SnapshotMeta
@@ -51,16 +51,16 @@
 	hard raft.HardState
 	snap raft.SnapshotMeta
 	log  []raft.Entry
-	// keeps is the number of entries of the previous log that must be left in
-	// place if the call fails.
-	keeps int
-	// loose is set if the previous call was abandoned: its entries and its vote
-	// may be stored too.
-	loose bool
+	// keptEntries is the number of entries of the previous log that must be left
+	// in place if the call fails.
+	keptEntries int
+	// afterAbandoned is set if the previous call was abandoned: its entries and
+	// its vote may be stored too.
+	afterAbandoned bool
 }
 
 func (r *run) draw(t *rapid.T) step {
-	out := step{hard: r.hard, snap: r.snap, log: r.log, keeps: len(r.log)}
+	out := step{hard: r.hard, snap: r.snap, log: r.log, keptEntries: len(r.log)}
 	kind := rapid.IntRange(0, 9).Draw(t, "call")
 	if r.abandoned {
 		kind = 2
@@ -72,31 +72,31 @@
 	case kind == 0 && len(r.log) > 0:
 		k := rapid.IntRange(1, len(r.log)).Draw(t, "snapshot")
 		out.snap = raft.SnapshotMeta{Index: r.log[k-1].Index, Term: r.log[k-1].Term, Members: members}
-		out.log, out.keeps = r.log[k:], 0
-		out.call = func() error { return r.s.Snapshot(out.snap, data) }
+		out.log, out.keptEntries = r.log[k:], 0
+		out.call = func() error { return r.store.Snapshot(out.snap, data) }
 	case kind == 1:
 		// The term of the snapshot is new, so that the log has no entry of that
 		// term.
 		low := max(r.hard.Commit, r.snap.Index)
 		out.snap = raft.SnapshotMeta{Index: rapid.Uint64Range(low+1, r.last()+3).Draw(t, "index"), Term: term + 1, Members: members}
-		out.log, out.keeps = nil, 0
-		out.call = func() error { return r.s.Install(out.snap, data) }
+		out.log, out.keptEntries = nil, 0
+		out.call = func() error { return r.store.Install(out.snap, data) }
 	default:
 		if kind < 5 || term > r.hard.Term {
 			out.hard.Term, out.hard.Vote = term+1, raft.MemberID(kind)
 		}
 		out.hard.Commit = max(r.hard.Commit, r.snap.Index)
-		out.keeps = rapid.IntRange(int(out.hard.Commit-r.snap.Index), len(r.log)).Draw(t, "from")
+		out.keptEntries = rapid.IntRange(int(out.hard.Commit-r.snap.Index), len(r.log)).Draw(t, "from")
 		if kind%2 == 0 && !r.abandoned {
-			out.keeps = len(r.log)
+			out.keptEntries = len(r.log)
 		}
 		var batch []raft.Entry
 		for n := range rapid.IntRange(1, 3).Draw(t, "entries") {
-			batch = append(batch, raft.Entry{Index: r.snap.Index + uint64(out.keeps+n+1), Term: out.hard.Term, Data: data})
+			batch = append(batch, raft.Entry{Index: r.snap.Index + uint64(out.keptEntries+n+1), Term: out.hard.Term, Data: data})
 		}
-		out.log = append(append([]raft.Entry(nil), r.log[:out.keeps]...), batch...)
+		out.log = append(append([]raft.Entry(nil), r.log[:out.keptEntries]...), batch...)
 		out.hard.Commit += uint64(rapid.IntRange(0, len(out.log)-int(out.hard.Commit-r.snap.Index)).Draw(t, "commit"))
-		out.call = func() error { return r.s.Save(&out.hard, batch) }
+		out.call = func() error { return r.store.Save(&out.hard, batch) }
 	}
 	return out
 }
@@ -104,17 +104,17 @@
 // abandon decides not to repeat a failed Save and reports whether that is
 // allowed: the failed call must be a Save that commits none of its new entries.
 func (s step) abandon(r *run) bool {
-	if s.snap.Index != r.snap.Index || s.hard.Commit > r.snap.Index+uint64(s.keeps) {
+	if s.snap.Index != r.snap.Index || s.hard.Commit > r.snap.Index+uint64(s.keptEntries) {
 		return false
 	}
-	r.log, r.abandoned, r.hard.Commit = r.log[:s.keeps], true, s.hard.Commit
+	r.log, r.abandoned, r.hard.Commit = r.log[:s.keptEntries], true, s.hard.Commit
 	return true
 }
 
 func (r *run) reopen(t *rapid.T) raft.StoredState {
 	s, err := open("d", r.disk, 200)
 	assert.NilError(t, err)
-	r.s = s
+	r.store = s
 	got := s.Stored()
 	if r.id == 0 {
 		r.id = got.Self.ID
@@ -131,8 +131,8 @@
 func (r *run) check(t *rapid.T, got raft.StoredState, after step) {
 	same := func(a, b []raft.Entry) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 	n := len(got.Entries)
-	if after.loose {
-		assert.Assert(t, n >= after.keeps && same(got.Entries[:after.keeps], r.log[:after.keeps]), "%v, expected at least %v", got.Entries, r.log)
+	if after.afterAbandoned {
+		assert.Assert(t, n >= after.keptEntries && same(got.Entries[:after.keptEntries], r.log[:after.keptEntries]), "%v, expected at least %v", got.Entries, r.log)
 		r.snap, r.log, r.hard = got.Snapshot, got.Entries, got.Hard
 		return
 	}
@@ -143,7 +143,7 @@
 	} else {
 		assert.Equal(t, got.Snapshot.Index, r.snap.Index)
 		whole := same(got.Entries, after.log) && after.snap.Index == r.snap.Index
-		part := n >= after.keeps && n <= len(r.log) && same(got.Entries, r.log[:n])
+		part := n >= after.keptEntries && n <= len(r.log) && same(got.Entries, r.log[:n])
 		assert.Assert(t, whole || part, "%v, expected %v or a part of %v", got.Entries, after.log, r.log)
 	}
 	vote := raft.HardState{Term: got.Hard.Term, Vote: got.Hard.Vote}
@@ -171,7 +171,7 @@
 			err := next.call()
 			crash := r.disk.powerCut || fault == 6 || fault == 7 || (err != nil && fault == 3)
 			r.disk.countdown = 0
-			next.loose, r.abandoned = r.abandoned, false
+			next.afterAbandoned, r.abandoned = r.abandoned, false
 			if err != nil && !crash {
 				if fault == 4 && next.abandon(r) {
 					continue
@@ -181,7 +181,7 @@
 			}
 			if err == nil {
 				r.hard, r.snap, r.log = next.hard, next.snap, next.log
-				next.keeps, next.loose = len(r.log), false
+				next.keptEntries, next.afterAbandoned = len(r.log), false
 			}
 			if !crash {
 				continue
@@ -195,10 +195,10 @@
 			}
 			r.check(t, r.reopen(t), next)
 		}
-		assert.NilError(t, r.s.Close())
+		assert.NilError(t, r.store.Close())
 		commit := r.hard.Commit
 		got := r.reopen(t)
 		assert.Assert(t, r.abandoned || got.Hard.Commit >= max(commit, r.snap.Index), "Close lost the commit index")
-		r.check(t, got, step{hard: r.hard, snap: r.snap, log: r.log, keeps: len(r.log), loose: r.abandoned})
+		r.check(t, got, step{hard: r.hard, snap: r.snap, log: r.log, keptEntries: len(r.log), afterAbandoned: r.abandoned})
 	})
 }
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -106,8 +106,8 @@
 
 // The kinds of obstacle.
 const (
-	// ObstacleReleaseUnconfirmed means that an entry process has not
-	// confirmed the release of an instance.
+	// ObstacleReleaseUnconfirmed means that an entry process has not confirmed
+	// the release of an instance.
 	ObstacleReleaseUnconfirmed ObstacleKind = "release-not-confirmed"
 	// ObstacleNotReturned means that the instance is in maintenance and the
 	// platform has not returned it.
@@ -115,14 +115,13 @@
 	// ObstacleDisruptionLimit means that a customer's limit of unavailable
 	// instances is reached.
 	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
-	// ObstacleMaintenanceDue means that the instance has not yet been taken out for a
-	// declared maintenance.
+	// ObstacleMaintenanceDue means that a declared maintenance of the instance
+	// has not started yet.
 	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
-	// ObstacleNotAnnounced means that the last event of the instance reported it as
-	// gone.
+	// ObstacleNotAnnounced means that the instance was last reported as gone.
 	ObstacleNotAnnounced ObstacleKind = "not-announced"
-	// ObstacleEjected means that the instance was ejected because of failures and has
-	// not been restored since.
+	// ObstacleEjected means that the instance was last reported as ejected
+	// because of failures.
 	ObstacleEjected ObstacleKind = "ejected"
 	// ObstacleCapacityMissing means that fewer instances are serving than
 	// promised.
@@ -156,7 +155,7 @@
 		limit string
 		kind  model.EventKind
 	}
-	at := map[key]int{}
+	position := map[key]int{}
 	for _, e := range events {
 		if !match(e) {
 			continue
@@ -166,10 +165,10 @@
 			continue
 		}
 		k := key{e.Limit, e.Kind}
-		i, ok := at[k]
+		i, ok := position[k]
 		if !ok {
 			i = len(x.LimitHits)
-			at[k] = i
+			position[k] = i
 			x.LimitHits = append(x.LimitHits, LimitHit{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
 		}
 		b := &x.LimitHits[i]
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -8,14 +8,15 @@
 	"camphorridge/core/state/model"
 )
 
-// Measures are the three figures that operators balance: the delay of contract
-// changes, the progress of moves and maintenance, and the buffer of idle
-// instances. They are computed from the events and the current state.
+// Measures are the three figures that operators weigh against each other: the
+// time until contract changes take effect, the moves and maintenance of
+// instances, and the buffer of idle instances. They are computed from the events
+// and the current state.
 type Measures struct {
 	// Rollouts lists the rollouts of contract changes in the order of versions.
 	Rollouts []Rollout
-	// MedianRollout and Worst are the median and the longest
-	// rollout time of the changes that are in effect on all entry processes.
+	// MedianRollout and LongestRollout are the median and the longest rollout
+	// time of the changes that are in effect on all entry processes.
 	MedianRollout  clock.Millis
 	LongestRollout clock.Millis
 	// Moves is the number of moves of an instance to another pool.
@@ -23,8 +24,8 @@
 	// FinishedMaintenances is the number of finished maintenances of instances.
 	FinishedMaintenances int
 	Waves                []Wave
-	// IdleInstances is the number of serving instances beyond the promised number:
-	// the buffer.
+	// IdleInstances is the number of serving instances beyond the promised
+	// number: the buffer.
 	IdleInstances int
 }
 
@@ -42,8 +43,8 @@
 // Wave describes the progress of a declared maintenance.
 type Wave struct {
 	Name string
-	// Maintained and All are the number of instances that have returned from
-	// the maintenance and the number of instances that it selects.
+	// Maintained and Selected are the number of instances that have returned
+	// from the maintenance and the number of instances that it selects.
 	Maintained int
 	Selected   int
 	// Elapsed is the time from the declaration until the last instance returned
@@ -94,7 +95,7 @@
 	return r
 }
 
-func medianAndLongest(all []Rollout) (median, worst clock.Millis) {
+func medianAndLongest(all []Rollout) (median, longest clock.Millis) {
 	var times []clock.Millis
 	for _, r := range all {
 		if len(r.Missing) == 0 {
@@ -138,14 +139,14 @@
 			promised[p.Pool] += p.Instances
 		}
 	}
-	have := map[model.Pool]int{}
+	serving := map[model.Pool]int{}
 	for _, i := range o.Instances {
 		if !i.OutOfService() && i.Phase == model.PhaseServing {
-			have[i.Pool]++
+			serving[i.Pool]++
 		}
 	}
 	n := 0
-	for p, h := range have {
+	for p, h := range serving {
 		n += max(0, h-promised[p])
 	}
 	return n
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -7,9 +7,9 @@
 	"camphorridge/core/state/model"
 )
 
-// relatedEventsSpan is the time before and after a request in which the events of its
-// instances are included in the explanation. It equals the default timeout of a
-// request.
+// relatedEventsSpan is the time before and after a request in which the events of
+// its instances are included in the explanation. It equals the default timeout of
+// a request.
 const relatedEventsSpan = 5 * clock.Second
 
 // ExplainCustomer explains the state of a customer. The events must be in the
@@ -165,38 +165,38 @@
 // instanceObstacles returns the obstacles that keep an instance from serving or
 // from leaving its current phase.
 func instanceObstacles(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
-	var blocks []Obstacle
+	var obstacles []Obstacle
 	switch i.Phase {
 	case model.PhaseReleasing:
 		for _, p := range o.Processes {
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
-				blocks = append(blocks, Obstacle{
+				obstacles = append(obstacles, Obstacle{
 					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
 					Since: i.PhaseSince, Advice: releaseAdvice(o, p),
 				})
 			}
 		}
 	case model.PhaseMaintenance:
-		blocks = append(blocks, Obstacle{
+		obstacles = append(obstacles, Obstacle{
 			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.PhaseSince,
 			Advice: instanceAdvice(ActionCheckPlatform, i.ID),
 		})
 	case model.PhaseServing:
 		e, ok := latest[i.ID]
 		if ok && e.Kind == model.EventEjected {
-			blocks = append(blocks, Obstacle{
+			obstacles = append(obstacles, Obstacle{
 				Kind: ObstacleEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepairUpstream, i.ID),
 			})
 		}
 		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
-			blocks = append(blocks, Obstacle{
+			obstacles = append(obstacles, Obstacle{
 				Kind: ObstacleNotAnnounced, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
 			})
 		}
 	}
-	return blocks
+	return obstacles
 }
 
 // maintenanceObstacles returns an obstacle for each declared maintenance that is
@@ -206,24 +206,24 @@
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
-	var blocks []Obstacle
+	var obstacles []Obstacle
 	for _, m := range sortedByKey(o.Maintenance) {
 		if !m.Selector.Matches(i) || i.MaintainedAt >= m.DeclaredAt {
 			continue
 		}
-		blocks = append(blocks, Obstacle{
+		obstacles = append(obstacles, Obstacle{
 			Kind: ObstacleMaintenanceDue, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
 			Since: m.DeclaredAt, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
 		})
 	}
-	if len(blocks) == 0 {
+	if len(obstacles) == 0 {
 		return nil
 	}
 	for _, c := range sortedByKey(o.Contracts) {
 		if b, reached := disruptionObstacle(o, c); reached && contractHasPool(c, i.Pool) {
 			b.Instance, b.Pool = i.ID, i.Pool
-			blocks = append(blocks, b)
+			obstacles = append(obstacles, b)
 		}
 	}
-	return blocks
+	return obstacles
 }
