Document the fields of the Raft simulation and of the event loop

The hosts of the simulated group, the pending requests, the failed output and the status indexes had no comment on what they count or when they are set; they have one now. In trail, 'o' and 'b' are state, obstacle and hit; in heap, 'up' is parent.

--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -76,19 +76,23 @@
 	// applied is the index of the last applied entry; it never decreases.
 	applied uint64
 	// snapshotIndex is the index of the latest snapshot on disk; at most applied.
-	snapshotIndex    uint64
-	nextSnapshot     clock.Millis
+	snapshotIndex uint64
+	// nextSnapshot is the earliest time of the next snapshot after a failed one.
+	nextSnapshot clock.Millis
+	// pendingProposals is keyed by log index, and pendingReads by read context.
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]chan answer
 	lastReadContext  uint64
 	pendingJoins     []input
 	watchers         []watcher
 	observed         observedState
-	failedOutput     *raft.Output
-	writeErr         error
-	retryAt          clock.Millis
-	counts           Counts
-	terminalErr      error
+	// failedOutput is the output whose write failed with writeErr and is retried
+	// at retryAt; nil while writes succeed.
+	failedOutput *raft.Output
+	writeErr     error
+	retryAt      clock.Millis
+	counts       Counts
+	terminalErr  error
 }
 
 // pendingProposal is a proposal that waits for its commit.
@@ -135,7 +139,9 @@
 	Role raft.Role
 	Term uint64
 	// Leader has the ID 0 if no leader is known.
-	Leader        raft.Member
+	Leader raft.Member
+	// Commit, Applied and SnapshotIndex are the indexes of the last committed
+	// entry, the last applied entry and the latest snapshot on disk.
 	Commit        uint64
 	Applied       uint64
 	SnapshotIndex uint64
--- a/core/state/heap/heap.go
+++ b/core/state/heap/heap.go
@@ -22,12 +22,12 @@
 func (h *Heap[T]) Push(v T) {
 	h.items = append(h.items, v)
 	for i := len(h.items) - 1; i > 0; {
-		up := (i - 1) / 2
-		if !h.items[i].Before(h.items[up]) {
+		parent := (i - 1) / 2
+		if !h.items[i].Before(h.items[parent]) {
 			return
 		}
-		h.items[i], h.items[up] = h.items[up], h.items[i]
-		i = up
+		h.items[i], h.items[parent] = h.items[parent], h.items[i]
+		i = parent
 	}
 }
 
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -85,8 +85,8 @@
 }
 
 func (n *Node) onVote(m Message) {
-	free := n.vote == m.From || (n.vote == 0 && n.leader == 0)
-	granted := free && n.role == RoleFollower && n.canVoteFor(m)
+	voteAvailable := n.vote == m.From || (n.vote == 0 && n.leader == 0)
+	granted := voteAvailable && n.role == RoleFollower && n.canVoteFor(m)
 	if granted {
 		n.vote = m.From
 		n.resetElectionTimer()
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -45,10 +45,13 @@
 	// heartbeatRound is the number of the last heartbeat round that confirms
 	// reads; it never decreases while the member leads.
 	heartbeatRound uint64
+	// roundRequested is set when pending reads need another heartbeat round.
 	roundRequested bool
 	pendingReads   []pendingRead
 	incoming       incomingSnapshot
 
+	// The fields from messages to installData hold the content of the next
+	// Output.
 	messages     []Message
 	readyReads   []ReadReady
 	needSnapshot []MemberID
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -217,8 +217,8 @@
 // single events that rapid chooses, so that a failure shrinks to the shortest
 // order of events that reproduces it.
 func TestAnyOrder(t *testing.T) {
-	// A check has 30 events and takes 0.2 ms, so 20 runs of rapid's 100 are
-	// cheap.
+	// 20 runs of 100 checks each are cheap: a check has 30 events and takes
+	// 0.2 ms.
 	for range 20 {
 		rapid.Check(t, checkAnyOrder)
 	}
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -35,37 +35,47 @@
 
 // host is a machine with a disk. node is nil while the host is down.
 type host struct {
-	self      Member
-	wanted    bool
+	self Member
+	// wanted is set if the host should be a member of the group.
+	wanted bool
+	// partition is the side of a network partition that the host is on; only
+	// hosts on the same side can communicate.
 	partition int
 	node      *Node
 	disk      disk
-	writing   *Output
-	writeDue  clock.Millis
-	slowDisk  bool
+	// writing is the output whose write is in progress, and writeDue is the time
+	// at which that write completes.
+	writing  *Output
+	writeDue clock.Millis
+	slowDisk bool
 	// frozen is set while the process is paused and gets no processor time.
 	frozen bool
 	// value, applied and commit are the volatile state of the running node.
-	value         int64
-	applied       uint64
-	commit        uint64
+	value   int64
+	applied uint64
+	commit  uint64
+	// pendingWrites holds the unanswered writes by log index, and pendingReads
+	// the positions of the unanswered reads in the history by read context.
 	pendingWrites map[uint64]pendingWrite
 	pendingReads  map[uint64]int
 }
 
+// pendingWrite is the term of a proposed write and its position in the history.
 type pendingWrite struct {
 	term uint64
 	op   int
 }
 
+// inFlight is a message that is delivered at due.
 type inFlight struct {
 	m   Message
 	due clock.Millis
 }
 
 // world is a simulation of a group: hosts with disks, a network and a clock. It
-// checks election safety, leader completeness, log matching, state machine safety
-// and that promises are on disk before they are sent.
+// checks election safety, leader completeness, log matching and state machine
+// safety, and that terms, votes and acknowledged entries are on disk before a
+// message reports them.
 type world struct {
 	r       *rand.Rand
 	now     clock.Millis
@@ -77,12 +87,16 @@
 	snapshotInterval uint64
 	lossPercent      int
 	duplicatePercent int
-	maxDelay         int
-	leaders          map[uint64]MemberID
+	// maxDelay is the maximum delay of a message in milliseconds; a duplicate may
+	// take four times as long.
+	maxDelay int
+	// leaders holds the leader of each term.
+	leaders map[uint64]MemberID
 	// committed lists the entries that any host has applied; the entry with
 	// index i is at i-1.
-	committed      []Entry
-	history        []porcupine.Operation
+	committed []Entry
+	history   []porcupine.Operation
+	// operationClock orders the calls and returns in history.
 	operationClock int64
 	installs       int
 	wipes          int
@@ -96,9 +110,10 @@
 }
 
 const (
-	opWrite  = 'w'
-	opSwap   = 'c'
-	opRead   = 'r'
+	opWrite = 'w'
+	opSwap  = 'c'
+	opRead  = 'r'
+	// noReturn is the return time of an operation without an answer.
 	noReturn = int64(1) << 62
 )
 
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -68,8 +68,8 @@
 // releaseAdvice returns the advice for a process that has not confirmed a
 // release: to wait for its requests in flight or, if the process has stopped
 // reporting, to restart it.
-func releaseAdvice(o CurrentState, p Process) Advice {
-	if p.LastReport == 0 || o.Now-p.LastReport > ReportTimeout {
+func releaseAdvice(state CurrentState, p Process) Advice {
+	if p.LastReport == 0 || state.Now-p.LastReport > ReportTimeout {
 		return Advice{ActionRestartProcess, string(p.Name)}
 	}
 	return Advice{ActionWait, string(p.Name)}
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -171,8 +171,8 @@
 			position[k] = i
 			x.LimitHits = append(x.LimitHits, LimitHit{Limit: e.Limit, Kind: e.Kind, First: e.Stamp, Advice: adviceFor(e.Limit)})
 		}
-		b := &x.LimitHits[i]
-		b.Count, b.Last, b.Detail = b.Count+1, e.Stamp, e.Detail
+		hit := &x.LimitHits[i]
+		hit.Count, hit.Last, hit.Detail = hit.Count+1, e.Stamp, e.Detail
 	}
 	x.Found = x.Found || len(x.Events) > 0
 	if over := len(x.Events) - MaxEvents; over > 0 {
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -12,7 +12,7 @@
 
 const now = clock.Millis(100_000)
 
-func objects() trail.CurrentState {
+func currentState() trail.CurrentState {
 	instances := map[model.InstanceID]model.Instance{}
 	for _, i := range []model.Instance{
 		{ID: "i1", Zone: "a", Pool: "log", Phase: model.PhaseServing},
@@ -59,7 +59,7 @@
 // TestExplainCustomer guards against an explanation of a customer that omits a
 // limit or an obstacle, or includes one of another customer.
 func TestExplainCustomer(t *testing.T) {
-	x := trail.ExplainCustomer(objects(), events(), "pomar")
+	x := trail.ExplainCustomer(currentState(), events(), "pomar")
 	assert.Assert(t, x.Found)
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
 	assert.Equal(t, len(x.Events), 3)
@@ -77,7 +77,7 @@
 		trail.ObstacleCapacityMissing, trail.ObstacleDisruptionLimit, trail.ObstacleReleaseUnconfirmed, trail.ObstacleReleaseUnconfirmed,
 		trail.ObstacleNotReturned, trail.ObstacleEjected,
 	})
-	none := trail.ExplainCustomer(objects(), events(), "other")
+	none := trail.ExplainCustomer(currentState(), events(), "other")
 	assert.Assert(t, none.Found, "the events mention the customer")
 	assert.Equal(t, none.Obstacles[0].Kind, trail.ObstacleNoContract)
 	assert.Equal(t, none.LimitHits[0].Advice, trail.Advice{Action: trail.ActionInspect, Target: "unheard of"})
@@ -86,7 +86,7 @@
 // TestExplainInstance guards against naming the wrong entry process for an
 // unconfirmed release, and against advice to wait for a silent process.
 func TestExplainInstance(t *testing.T) {
-	x := trail.ExplainInstance(objects(), events(), "i2")
+	x := trail.ExplainInstance(currentState(), events(), "i2")
 	assert.DeepEqual(t, x.Obstacles, []trail.Obstacle{
 		{
 			Kind: trail.ObstacleReleaseUnconfirmed, Instance: "i2", Pool: "log", Process: "e1", Since: 90_000,
@@ -97,25 +97,25 @@
 			Advice: trail.Advice{Action: trail.ActionRestartProcess, Target: "e2"},
 		},
 	})
-	due := trail.ExplainInstance(objects(), events(), "i1").Obstacles
+	due := trail.ExplainInstance(currentState(), events(), "i1").Obstacles
 	assert.Equal(t, len(due), 2)
 	assert.Equal(t, due[0].Maintenance, "kernel")
 	assert.Equal(t, due[1].Kind, trail.ObstacleDisruptionLimit)
 	assert.Equal(t, due[1].Advice.Action, trail.ActionWait)
-	assert.Equal(t, len(trail.ExplainInstance(objects(), events(), "i5").Obstacles), 0, "the instance was maintained after the declaration")
-	assert.Assert(t, !trail.ExplainInstance(objects(), nil, "i9").Found)
+	assert.Equal(t, len(trail.ExplainInstance(currentState(), events(), "i5").Obstacles), 0, "the instance was maintained after the declaration")
+	assert.Assert(t, !trail.ExplainInstance(currentState(), nil, "i9").Found)
 }
 
 // TestExplainRequest guards against an explanation of a request with an unknown
 // outcome that omits the events of its instance around that time, or includes
 // much older events.
 func TestExplainRequest(t *testing.T) {
-	x := trail.ExplainRequest(objects(), events(), "r3")
+	x := trail.ExplainRequest(currentState(), events(), "r3")
 	assert.Equal(t, len(x.Events), 1)
 	assert.Equal(t, len(x.RelatedEvents), 1)
 	assert.Equal(t, x.RelatedEvents[0].Kind, model.EventEjected)
 	assert.Equal(t, x.Obstacles[0].Kind, trail.ObstacleEjected)
-	assert.Assert(t, !trail.ExplainRequest(objects(), events(), "r9").Found)
+	assert.Assert(t, !trail.ExplainRequest(currentState(), events(), "r9").Found)
 }
 
 // TestExplainIsBounded guards against an explanation whose size grows with the
@@ -125,7 +125,7 @@
 	for i := range 3 * trail.MaxEvents {
 		many = append(many, model.Event{Stamp: model.Stamp{Wall: clock.Millis(i)}, Customer: "pomar", Seq: uint64(i)})
 	}
-	x := trail.ExplainCustomer(objects(), many, "pomar")
+	x := trail.ExplainCustomer(currentState(), many, "pomar")
 	assert.Equal(t, len(x.Events), trail.MaxEvents)
 	assert.Equal(t, x.OmittedEvents, 2*trail.MaxEvents)
 	assert.Equal(t, x.Events[0].Seq, uint64(2*trail.MaxEvents))
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -54,13 +54,13 @@
 
 // Measure computes the measures. The events must be in causal order, as returned
 // by Merge. Changes whose events were dropped from the log are not included.
-func Measure(o CurrentState, events []model.Event) Measures {
+func Measure(state CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
 		switch e.Kind {
 		case model.EventChange:
 			if e.Customer != "" {
-				m.Rollouts = append(m.Rollouts, measureRollout(o, e, events[i:]))
+				m.Rollouts = append(m.Rollouts, measureRollout(state, e, events[i:]))
 			}
 		case model.EventMoved:
 			m.Moves++
@@ -69,17 +69,17 @@
 		}
 	}
 	m.MedianRollout, m.LongestRollout = medianAndLongest(m.Rollouts)
-	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
-		m.Waves = append(m.Waves, measureWave(o, o.Maintenance[name]))
+	for _, name := range slices.Sorted(maps.Keys(state.Maintenance)) {
+		m.Waves = append(m.Waves, measureWave(state, state.Maintenance[name]))
 	}
-	m.IdleInstances = idleInstances(o)
+	m.IdleInstances = idleInstances(state)
 	return m
 }
 
-func measureRollout(o CurrentState, change model.Event, after []model.Event) Rollout {
+func measureRollout(state CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
-	for _, p := range o.Processes {
+	for _, p := range state.Processes {
 		missing[p.Name] = true
 	}
 	for _, e := range after {
@@ -109,10 +109,10 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
-func measureWave(o CurrentState, m model.Maintenance) Wave {
+func measureWave(state CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
 	last := m.DeclaredAt
-	for _, i := range o.Instances {
+	for _, i := range state.Instances {
 		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
 			continue
 		}
@@ -123,7 +123,7 @@
 		}
 	}
 	if w.Maintained < w.Selected {
-		last = o.Now
+		last = state.Now
 	}
 	w.Elapsed = last - m.DeclaredAt
 	return w
@@ -132,15 +132,15 @@
 // idleInstances returns the number of serving instances beyond the number that
 // contracts promise in their pools. All instances of a spare pool count as idle,
 // because contracts promise no instances in it.
-func idleInstances(o CurrentState) int {
+func idleInstances(state CurrentState) int {
 	promised := map[model.Pool]int{}
-	for _, c := range o.Contracts {
+	for _, c := range state.Contracts {
 		for _, p := range c.Pools {
 			promised[p.Pool] += p.Instances
 		}
 	}
 	serving := map[model.Pool]int{}
-	for _, i := range o.Instances {
+	for _, i := range state.Instances {
 		if !i.OutOfService() && i.Phase == model.PhaseServing {
 			serving[i.Pool]++
 		}
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -16,7 +16,7 @@
 	at := func(ms clock.Millis, p model.Process, k model.EventKind, v model.Version) model.Event {
 		return model.Event{Stamp: model.Stamp{Wall: ms}, Process: p, Kind: k, Version: v, Customer: "acme"}
 	}
-	o := CurrentState{
+	state := CurrentState{
 		Now:       9000,
 		Processes: []Process{{Name: "e1"}, {Name: "e2"}},
 		Contracts: map[model.Customer]model.Contract{"acme": {Pools: []model.PoolShare{{Pool: "merge", Instances: 1}}}},
@@ -25,7 +25,7 @@
 		},
 		Maintenance: map[string]model.Maintenance{"w": {Name: "w", DeclaredAt: 3000, Selector: model.Selector{Pool: "merge"}}},
 	}
-	m := Measure(o, []model.Event{
+	m := Measure(state, []model.Event{
 		at(100, "c1", model.EventChange, 5), at(130, "e1", model.EventTable, 5), at(150, "e2", model.EventTable, 6),
 		at(200, "c1", model.EventMoved, 7), at(300, "c1", model.EventChange, 8), at(310, "e1", model.EventTable, 8),
 		at(400, "c1", model.EventMaintained, 9),
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -14,28 +14,28 @@
 
 // ExplainCustomer explains the state of a customer. The events must be in the
 // order of Merge.
-func ExplainCustomer(o CurrentState, events []model.Event, name model.Customer) Explanation {
-	c, known := o.Contracts[name]
-	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
+func ExplainCustomer(state CurrentState, events []model.Event, name model.Customer) Explanation {
+	c, known := state.Contracts[name]
+	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: state.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
 		x.Obstacles = []Obstacle{{Kind: ObstacleNoContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
-	instances := sortedByKey(o.Instances)
+	instances := sortedByKey(state.Instances)
 	for _, share := range c.Pools {
 		x.addPool(share, false, instances)
 	}
 	if c.Spare > 0 {
 		x.addPool(model.PoolShare{Pool: c.SparePool, Instances: c.Spare}, true, instances)
 	}
-	if b, reached := disruptionObstacle(o, c); reached {
-		x.Obstacles = append(x.Obstacles, b)
+	if obstacle, reached := disruptionObstacle(state, c); reached {
+		x.Obstacles = append(x.Obstacles, obstacle)
 	}
 	latest := latestUpstreamEvents(events)
 	for _, i := range instances {
 		if contractHasPool(c, i.Pool) {
-			x.Obstacles = append(x.Obstacles, instanceObstacles(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceObstacles(state, latest, i)...)
 		}
 	}
 	return x
@@ -43,21 +43,21 @@
 
 // ExplainInstance explains the state of an instance. The events must be in the
 // order of Merge.
-func ExplainInstance(o CurrentState, events []model.Event, id model.InstanceID) Explanation {
-	i, known := o.Instances[id]
-	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Found: known, Instance: i}
+func ExplainInstance(state CurrentState, events []model.Event, id model.InstanceID) Explanation {
+	i, known := state.Instances[id]
+	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: state.Now, Found: known, Instance: i}
 	x.collect(events, func(e model.Event) bool { return e.Instance == id })
 	if !known {
 		return x
 	}
-	x.Obstacles = append(instanceObstacles(o, latestUpstreamEvents(events), i), maintenanceObstacles(o, i)...)
+	x.Obstacles = append(instanceObstacles(state, latestUpstreamEvents(events), i), maintenanceObstacles(state, i)...)
 	return x
 }
 
 // ExplainRequest explains what happened to the request with the given ID. The
 // events must be in the order of Merge.
-func ExplainRequest(o CurrentState, events []model.Event, id string) Explanation {
-	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
+func ExplainRequest(state CurrentState, events []model.Event, id string) Explanation {
+	x := Explanation{Subject: SubjectRequest, Name: id, Now: state.Now}
 	x.collect(events, func(e model.Event) bool { return e.Request == id })
 	if len(x.Events) == 0 {
 		return x
@@ -79,9 +79,9 @@
 		x.RelatedEvents = slices.Clone(x.RelatedEvents[over:])
 	}
 	latest := latestUpstreamEvents(events)
-	for _, i := range sortedByKey(o.Instances) {
+	for _, i := range sortedByKey(state.Instances) {
 		if involved[i.ID] {
-			x.Obstacles = append(x.Obstacles, instanceObstacles(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceObstacles(state, latest, i)...)
 		}
 	}
 	return x
@@ -114,14 +114,14 @@
 	if missing <= 0 {
 		return
 	}
-	b := Obstacle{
+	obstacle := Obstacle{
 		Kind: ObstacleCapacityMissing, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
 		Advice: Advice{ActionWait, string(p.Pool)},
 	}
 	if missing > returning {
-		b.Advice.Action = ActionAddInstances
+		obstacle.Advice.Action = ActionAddInstances
 	}
-	x.Obstacles = append(x.Obstacles, b)
+	x.Obstacles = append(x.Obstacles, obstacle)
 }
 
 func contractHasPool(c model.Contract, p model.Pool) bool {
@@ -131,21 +131,21 @@
 // disruptionObstacle returns the obstacle of a customer's limit of unavailable
 // instances and reports whether the limit is reached. Instances that are being
 // released or are in maintenance count as unavailable.
-func disruptionObstacle(o CurrentState, c model.Contract) (b Obstacle, reached bool) {
-	out := 0
-	for _, i := range o.Instances {
+func disruptionObstacle(state CurrentState, c model.Contract) (obstacle Obstacle, reached bool) {
+	unavailable := 0
+	for _, i := range state.Instances {
 		if contractHasPool(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
-			out++
+			unavailable++
 		}
 	}
-	b = Obstacle{
+	obstacle = Obstacle{
 		Kind: ObstacleDisruptionLimit, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
 		Advice: adviceFor("max-unavailable"),
 	}
-	if out > 0 {
-		b.Advice = Advice{ActionWait, "max-unavailable"}
+	if unavailable > 0 {
+		obstacle.Advice = Advice{ActionWait, "max-unavailable"}
 	}
-	return b, out >= c.MaxUnavailable
+	return obstacle, unavailable >= c.MaxUnavailable
 }
 
 // latestUpstreamEvents returns, for each instance, the last event that reports
@@ -164,15 +164,15 @@
 
 // instanceObstacles returns the obstacles that keep an instance from serving or
 // from leaving its current phase.
-func instanceObstacles(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
+func instanceObstacles(state CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
 	var obstacles []Obstacle
 	switch i.Phase {
 	case model.PhaseReleasing:
-		for _, p := range o.Processes {
+		for _, p := range state.Processes {
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
 				obstacles = append(obstacles, Obstacle{
 					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
-					Since: i.PhaseSince, Advice: releaseAdvice(o, p),
+					Since: i.PhaseSince, Advice: releaseAdvice(state, p),
 				})
 			}
 		}
@@ -202,12 +202,12 @@
 // maintenanceObstacles returns an obstacle for each declared maintenance that is
 // due for a serving instance, and one for each customer of its pool whose limit
 // of unavailable instances delays it.
-func maintenanceObstacles(o CurrentState, i model.Instance) []Obstacle {
+func maintenanceObstacles(state CurrentState, i model.Instance) []Obstacle {
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
 	var obstacles []Obstacle
-	for _, m := range sortedByKey(o.Maintenance) {
+	for _, m := range sortedByKey(state.Maintenance) {
 		if !m.Selector.Matches(i) || i.MaintainedAt >= m.DeclaredAt {
 			continue
 		}
@@ -219,10 +219,10 @@
 	if len(obstacles) == 0 {
 		return nil
 	}
-	for _, c := range sortedByKey(o.Contracts) {
-		if b, reached := disruptionObstacle(o, c); reached && contractHasPool(c, i.Pool) {
-			b.Instance, b.Pool = i.ID, i.Pool
-			obstacles = append(obstacles, b)
+	for _, c := range sortedByKey(state.Contracts) {
+		if obstacle, reached := disruptionObstacle(state, c); reached && contractHasPool(c, i.Pool) {
+			obstacle.Instance, obstacle.Pool = i.ID, i.Pool
+			obstacles = append(obstacles, obstacle)
 		}
 	}
 	return obstacles
