--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -17,7 +17,7 @@
 	// KindBusy means that the ring or the list of pending proposals or reads is
 	// full; nothing was done.
 	KindBusy
-	// KindDisk means that writes to this member's disk fail; nothing was done.
+	// KindDisk means that this member's disk fails; nothing was done.
 	KindDisk
 	// KindPending means that another membership change is in progress; nothing
 	// was done.
--- a/core/state/store/filesystem.go
+++ b/core/state/store/filesystem.go
@@ -33,7 +33,7 @@
 	// durable.
 	SyncDir(dir string) error
 	// Lock acquires a lock that is released when the process ends. It fails with
-	// syscall.EWOULDBLOCK if the lock is held by another process.
+	// syscall.EWOULDBLOCK if another holder has the lock.
 	Lock(path string) (release func() error, err error)
 }
 
