--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -13,7 +13,7 @@
 	"camphorridge/core/state/store"
 )
 
-// fill saves entries from..to one by one.
+// fill saves the entries with the indexes from to to, each with its own call.
 func fill[S interface {
 	Save(*raft.HardState, []raft.Entry) error
 }](t *testing.T, s S, from, to uint64) {
@@ -23,15 +23,16 @@
 }
 
 const (
-	first  = "log-00000000000000000001.seg"
-	second = "log-00000000000000000005.seg"
-	third  = "log-00000000000000000009.seg"
-	snap   = "snap-00000000000000000002.bin"
+	firstSegment  = "log-00000000000000000001.seg"
+	secondSegment = "log-00000000000000000005.seg"
+	thirdSegment  = "log-00000000000000000009.seg"
+	snapshotFile  = "snap-00000000000000000002.bin"
 )
 
-// TestOpenDamaged guards against a folder that is opened although data is
-// missing or changed, and against one that is refused although a crash alone
-// explains it. Each record has 28 bytes and each segment four records.
+// TestOpenDamaged guards against a folder that opens although data is missing or
+// modified, and against a folder that fails to open although a crash can have
+// left it in that state. Each record has 28 bytes, and each segment has four
+// records.
 func TestOpenDamaged(t *testing.T) {
 	flip := func(name string, at int) func(*testing.T, string) {
 		return func(t *testing.T, dir string) {
@@ -57,46 +58,47 @@
 	remove := func(name string) func(*testing.T, string) {
 		return func(t *testing.T, dir string) { assert.NilError(t, os.Remove(filepath.Join(dir, name))) }
 	}
-	// lose removes entry 9 after it was recorded as committed.
-	lose := func(t *testing.T, dir string) {
+	// loseCommitted removes entry 9 after it was stored as committed.
+	loseCommitted := func(t *testing.T, dir string) {
 		s, err := open(dir, store.OSFileSystem{}, 100)
 		assert.NilError(t, err)
 		assert.NilError(t, s.Save(&raft.HardState{Term: 1, Vote: 2, Commit: 9}, nil))
 		assert.NilError(t, s.Close())
-		remove(third)(t, dir)
+		remove(thirdSegment)(t, dir)
 	}
 	cases := []struct {
 		name   string
 		damage func(*testing.T, string)
-		// last is the last entry found; 0 when Open fails with kind and text.
+		// last is the index of the last recovered entry; 0 means that Open fails
+		// with kind and a message that contains text.
 		last uint64
 		kind store.Kind
 		text string
 	}{
 		{"nothing", func(*testing.T, string) {}, 11, 0, ""},
-		{"torn length", cut(third, 2*28+3), 10, 0, ""},
-		{"torn payload", cut(third, 3*28-1), 10, 0, ""},
-		{"damaged last record", flip(third, 2*28+20), 10, 0, ""},
-		{"damaged last length", flip(third, 2*28+1), 10, 0, ""},
-		{"zeros after the end", add(third, string(make([]byte, 4096))), 11, 0, ""},
-		{"torn first record of the last segment", cut(third, 9), 8, 0, ""},
-		{"last segment empty", cut(third, 0), 8, 0, ""},
+		{"torn length", cut(thirdSegment, 2*28+3), 10, 0, ""},
+		{"torn payload", cut(thirdSegment, 3*28-1), 10, 0, ""},
+		{"damaged last record", flip(thirdSegment, 2*28+20), 10, 0, ""},
+		{"damaged last length", flip(thirdSegment, 2*28+1), 10, 0, ""},
+		{"zeros after the end", add(thirdSegment, string(make([]byte, 4096))), 11, 0, ""},
+		{"torn first record of the last segment", cut(thirdSegment, 9), 8, 0, ""},
+		{"last segment empty", cut(thirdSegment, 0), 8, 0, ""},
 		{"empty new segment", add("log-00000000000000000012.seg", ""), 11, 0, ""},
 		{"temporary file", add("meta.tmp", "part"), 11, 0, ""},
-		{"record before the tail", flip(third, 28+20), 0, store.KindCorrupt, third + ", offset 28"},
-		{"length before the tail", flip(third, 28), 0, store.KindCorrupt, third + ", offset 28"},
-		{"record of an earlier segment", flip(first, 3*28+20), 0, store.KindCorrupt, first + ", offset 84"},
-		{"end of an earlier segment", cut(second, 3*28+5), 0, store.KindCorrupt, second + ", offset 84"},
-		{"whole record of an earlier segment", cut(second, 3*28), 0, store.KindGap, third},
-		{"segment missing", remove(second), 0, store.KindGap, third},
-		{"segment empty", cut(second, 0), 0, store.KindGap, third},
-		{"first segment missing", remove(first), 0, store.KindGap, second},
-		{"committed entries missing", lose, 0, store.KindGap, "ends at entry 8, but 9"},
+		{"record before the tail", flip(thirdSegment, 28+20), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
+		{"length before the tail", flip(thirdSegment, 28), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
+		{"record of an earlier segment", flip(firstSegment, 3*28+20), 0, store.KindCorrupt, firstSegment + ", offset 84"},
+		{"end of an earlier segment", cut(secondSegment, 3*28+5), 0, store.KindCorrupt, secondSegment + ", offset 84"},
+		{"whole record of an earlier segment", cut(secondSegment, 3*28), 0, store.KindGap, thirdSegment},
+		{"segment missing", remove(secondSegment), 0, store.KindGap, thirdSegment},
+		{"segment empty", cut(secondSegment, 0), 0, store.KindGap, thirdSegment},
+		{"first segment missing", remove(firstSegment), 0, store.KindGap, secondSegment},
+		{"committed entries missing", loseCommitted, 0, store.KindGap, "ends at entry 8, but 9"},
 		{"meta missing", remove("meta"), 0, store.KindNoMeta, "no meta file"},
 		{"meta damaged", flip("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
 		{"meta short", cut("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
-		{"snapshot damaged", flip(snap, 40), 0, store.KindCorrupt, snap},
-		{"snapshot short", cut(snap, 3), 0, store.KindCorrupt, snap},
+		{"snapshot damaged", flip(snapshotFile, 40), 0, store.KindCorrupt, snapshotFile},
+		{"snapshot short", cut(snapshotFile, 3), 0, store.KindCorrupt, snapshotFile},
 	}
 	origin := filepath.Join(t.TempDir(), "data")
 	s, err := open(origin, store.OSFileSystem{}, 100)
@@ -129,7 +131,7 @@
 	}
 }
 
-// TestLock guards against two processes on one folder.
+// TestLock guards against two processes that use one folder.
 func TestLock(t *testing.T) {
 	dir := t.TempDir()
 	s, err := open(dir, store.OSFileSystem{}, 0)
@@ -143,9 +145,9 @@
 	assert.NilError(t, s.Close())
 }
 
-// TestFailedSync guards against going on after a failed sync in a file whose
-// earlier records are no longer intact, and against bytes of the failed
-// record after the next one.
+// TestFailedSync guards against further writes, after a failed sync, to a file
+// whose earlier records are damaged, and against remains of the failed record
+// after the next record.
 func TestFailedSync(t *testing.T) {
 	disk := newDisk()
 	s, err := open("d", disk, 0)
@@ -155,7 +157,7 @@
 	disk.countdown, disk.failure = 2, syscall.ENOSPC
 	isKind(t, s.Save(nil, long), store.KindDiskFull)
 	fill(t, s, 3, 3)
-	file := disk.names[filepath.Join("d", first)]
+	file := disk.names[filepath.Join("d", firstSegment)]
 	assert.Equal(t, len(file.data), 3*28)
 
 	disk.countdown, disk.failure = 2, syscall.EIO
@@ -163,11 +165,11 @@
 	file.data[40] ^= 1
 	err = s.Save(nil, []raft.Entry{{Index: 4, Term: 1}})
 	isKind(t, err, store.KindCorrupt)
-	assert.ErrorContains(t, err, first+", offset 28")
+	assert.ErrorContains(t, err, firstSegment+", offset 28")
 }
 
-// TestOrder guards against calls that would leave a gap, lower the term, or
-// replace committed entries.
+// TestOrder guards against calls that would leave a gap in the log, lower the
+// term, or replace committed entries.
 func TestOrder(t *testing.T) {
 	s, err := open("d", newDisk(), 0)
 	assert.NilError(t, err)
@@ -188,15 +190,15 @@
 	assert.Equal(t, string(data), "state")
 }
 
-// FuzzSegment guards against a panic, or an error of another type, on a
-// segment or snapshot with arbitrary content.
+// FuzzSegment guards against a panic, or an error of another type than Error,
+// when a segment or snapshot has arbitrary content.
 func FuzzSegment(f *testing.F) {
 	disk := newDisk()
 	s, err := open("d", disk, 0)
 	assert.NilError(f, err)
 	assert.NilError(f, s.Save(nil, []raft.Entry{{Index: 1, Term: 1, Data: []byte("a")}, {Index: 2, Term: 1}}))
 	assert.NilError(f, s.Snapshot(raft.SnapshotMeta{Index: 1, Term: 1, Members: members}, []byte("state")))
-	seed := disk.names[filepath.Join("d", first)].data
+	seed := disk.names[filepath.Join("d", firstSegment)].data
 	snapshot := "snap-00000000000000000001.bin"
 	f.Add(seed, disk.names[filepath.Join("d", snapshot)].data)
 	f.Add(seed[:len(seed)-1], []byte("crsnap01"))
@@ -204,9 +206,9 @@
 	f.Fuzz(func(t *testing.T, segment, snap []byte) {
 		disk := newDisk()
 		disk.names = map[string]*inode{
-			filepath.Join("d", "meta"):   meta,
-			filepath.Join("d", first):    {data: segment, dirty: map[int]bool{}},
-			filepath.Join("d", snapshot): {data: snap, dirty: map[int]bool{}},
+			filepath.Join("d", "meta"):       meta,
+			filepath.Join("d", firstSegment): {data: segment, dirty: map[int]bool{}},
+			filepath.Join("d", snapshot):     {data: snap, dirty: map[int]bool{}},
 		}
 		s, err := open("d", disk, 0)
 		if err != nil {
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -8,54 +8,59 @@
 	"camphorridge/core/state/model"
 )
 
-// Measures are the three figures that operators weigh, taken from the time
-// line and the present objects.
+// Measures are the three figures that operators weigh against each other: the
+// time until contract changes take effect, the moves and maintenance of
+// instances, and the buffer of idle instances. They are computed from the events
+// and the current state.
 type Measures struct {
-	// Rollouts lists the contract changes in the order of their versions.
+	// Rollouts lists the rollouts of contract changes in the order of versions.
 	Rollouts []Rollout
-	// MedianRollout and Worst are over the changes that are in force everywhere.
+	// MedianRollout and LongestRollout are the median and the longest rollout
+	// time of the changes that are in effect on all entry processes.
 	MedianRollout  clock.Millis
 	LongestRollout clock.Millis
-	// Moves is the number of instances that changed pool.
+	// Moves is the number of moves of an instance to another pool.
 	Moves int
-	// FinishedMaintenances is the number of finished maintenances.
+	// FinishedMaintenances is the number of finished maintenances of instances.
 	FinishedMaintenances int
 	Waves                []Wave
-	// IdleInstances is the number of serving instances beyond what is promised: the
-	// buffer.
+	// IdleInstances is the number of serving instances beyond the promised
+	// number: the buffer.
 	IdleInstances int
 }
 
-// Rollout is how long an accepted change took to be in force.
+// Rollout describes how long an accepted contract change took to take effect.
 type Rollout struct {
 	Version model.Version
-	// Elapsed is the time until the last entry process had it; 0 while one
-	// lacks it.
+	// Elapsed is the time until the last entry process applied the change; 0
+	// while Missing is not empty.
 	Elapsed clock.Millis
-	// Missing lists the entry processes that have not reported it.
+	// Missing lists the entry processes that have not reported the change as
+	// applied.
 	Missing []model.Process
 }
 
-// Wave is how far a declared maintenance is.
+// Wave describes the progress of a declared maintenance.
 type Wave struct {
 	Name string
-	// Maintained and All count the selected instances.
+	// Maintained and Selected are the number of instances that have returned
+	// from the maintenance and the number of instances that it selects.
 	Maintained int
 	Selected   int
-	// Elapsed is the time from the declaration to the last return, or to now
-	// while instances are left.
+	// Elapsed is the time from the declaration until the last instance returned
+	// from maintenance, or until now while instances remain.
 	Elapsed clock.Millis
 }
 
-// Measure computes the figures. Events must be in causal order, as Merge
-// returns them; changes whose events were dropped are left out.
-func Measure(o CurrentState, events []model.Event) Measures {
+// Measure computes the measures. The events must be in causal order, as returned
+// by Merge. Changes whose events were dropped from the log are not included.
+func Measure(state CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
 		switch e.Kind {
 		case model.EventChange:
 			if e.Customer != "" {
-				m.Rollouts = append(m.Rollouts, rollout(o, e, events[i:]))
+				m.Rollouts = append(m.Rollouts, measureRollout(state, e, events[i:]))
 			}
 		case model.EventMoved:
 			m.Moves++
@@ -63,18 +68,18 @@
 			m.FinishedMaintenances++
 		}
 	}
-	m.MedianRollout, m.LongestRollout = spread(m.Rollouts)
-	for _, name := range slices.Sorted(maps.Keys(o.Maintenance)) {
-		m.Waves = append(m.Waves, wave(o, o.Maintenance[name]))
+	m.MedianRollout, m.LongestRollout = medianAndLongest(m.Rollouts)
+	for _, name := range slices.Sorted(maps.Keys(state.Maintenance)) {
+		m.Waves = append(m.Waves, measureWave(state, state.Maintenance[name]))
 	}
-	m.IdleInstances = idle(o)
+	m.IdleInstances = idleInstances(state)
 	return m
 }
 
-func rollout(o CurrentState, change model.Event, after []model.Event) Rollout {
+func measureRollout(state CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
-	for _, p := range o.Processes {
+	for _, p := range state.Processes {
 		missing[p.Name] = true
 	}
 	for _, e := range after {
@@ -90,7 +95,7 @@
 	return r
 }
 
-func spread(all []Rollout) (median, worst clock.Millis) {
+func medianAndLongest(all []Rollout) (median, longest clock.Millis) {
 	var times []clock.Millis
 	for _, r := range all {
 		if len(r.Missing) == 0 {
@@ -104,10 +109,10 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
-func wave(o CurrentState, m model.Maintenance) Wave {
+func measureWave(state CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
 	last := m.DeclaredAt
-	for _, i := range o.Instances {
+	for _, i := range state.Instances {
 		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
 			continue
 		}
@@ -118,29 +123,30 @@
 		}
 	}
 	if w.Maintained < w.Selected {
-		last = o.Now
+		last = state.Now
 	}
 	w.Elapsed = last - m.DeclaredAt
 	return w
 }
 
-// idle counts the serving instances beyond the promise of their pools. Spare
-// instances are all idle, as nothing is promised in a spare pool.
-func idle(o CurrentState) int {
+// idleInstances returns the number of serving instances beyond the number that
+// contracts promise in their pools. All instances of a spare pool count as idle,
+// because contracts promise no instances in it.
+func idleInstances(state CurrentState) int {
 	promised := map[model.Pool]int{}
-	for _, c := range o.Contracts {
+	for _, c := range state.Contracts {
 		for _, p := range c.Pools {
 			promised[p.Pool] += p.Instances
 		}
 	}
-	have := map[model.Pool]int{}
-	for _, i := range o.Instances {
+	serving := map[model.Pool]int{}
+	for _, i := range state.Instances {
 		if !i.OutOfService() && i.Phase == model.PhaseServing {
-			have[i.Pool]++
+			serving[i.Pool]++
 		}
 	}
 	n := 0
-	for p, h := range have {
+	for p, h := range serving {
 		n += max(0, h-promised[p])
 	}
 	return n
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -7,60 +7,63 @@
 	"camphorridge/core/state/model"
 )
 
-// contextSpan is how long before and after a request the events of its
-// instances belong to the explanation; it is the default timeout of a request.
-const contextSpan = 5 * clock.Second
+// relatedEventsSpan is the time before and after a request in which the events of
+// its instances are included in the explanation. It equals the default timeout of
+// a request.
+const relatedEventsSpan = 5 * clock.Second
 
-// ExplainCustomer explains a customer. The events must be merged.
-func ExplainCustomer(o CurrentState, events []model.Event, name model.Customer) Explanation {
-	c, known := o.Contracts[name]
-	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: o.Now, Found: known, Contract: c}
+// ExplainCustomer explains the state of a customer. The events must be in the
+// order of Merge.
+func ExplainCustomer(state CurrentState, events []model.Event, name model.Customer) Explanation {
+	c, known := state.Contracts[name]
+	x := Explanation{Subject: SubjectCustomer, Name: string(name), Now: state.Now, Found: known, Contract: c}
 	x.collect(events, func(e model.Event) bool { return e.Customer == name })
 	if !known {
 		x.Obstacles = []Obstacle{{Kind: ObstacleNoContract, Customer: name, Advice: Advice{ActionApplyContract, string(name)}}}
 		return x
 	}
-	instances := sorted(o.Instances)
+	instances := sortedByKey(state.Instances)
 	for _, share := range c.Pools {
 		x.addPool(share, false, instances)
 	}
 	if c.Spare > 0 {
 		x.addPool(model.PoolShare{Pool: c.SparePool, Instances: c.Spare}, true, instances)
 	}
-	if b, reached := disruption(o, c); reached {
-		x.Obstacles = append(x.Obstacles, b)
+	if obstacle, reached := disruptionObstacle(state, c); reached {
+		x.Obstacles = append(x.Obstacles, obstacle)
 	}
-	latest := latestUpstreams(events)
+	latest := latestUpstreamEvents(events)
 	for _, i := range instances {
-		if holds(c, i.Pool) {
-			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
+		if contractHasPool(c, i.Pool) {
+			x.Obstacles = append(x.Obstacles, instanceObstacles(state, latest, i)...)
 		}
 	}
 	return x
 }
 
-// ExplainInstance explains an instance. The events must be merged.
-func ExplainInstance(o CurrentState, events []model.Event, id model.InstanceID) Explanation {
-	i, known := o.Instances[id]
-	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: o.Now, Found: known, Instance: i}
+// ExplainInstance explains the state of an instance. The events must be in the
+// order of Merge.
+func ExplainInstance(state CurrentState, events []model.Event, id model.InstanceID) Explanation {
+	i, known := state.Instances[id]
+	x := Explanation{Subject: SubjectInstance, Name: string(id), Now: state.Now, Found: known, Instance: i}
 	x.collect(events, func(e model.Event) bool { return e.Instance == id })
 	if !known {
 		return x
 	}
-	x.Obstacles = append(instanceBlocks(o, latestUpstreams(events), i), waveBlocks(o, i)...)
+	x.Obstacles = append(instanceObstacles(state, latestUpstreamEvents(events), i), maintenanceObstacles(state, i)...)
 	return x
 }
 
-// ExplainRequest explains a request by its identity. The events must be
-// merged.
-func ExplainRequest(o CurrentState, events []model.Event, id string) Explanation {
-	x := Explanation{Subject: SubjectRequest, Name: id, Now: o.Now}
+// ExplainRequest explains what happened to the request with the given ID. The
+// events must be in the order of Merge.
+func ExplainRequest(state CurrentState, events []model.Event, id string) Explanation {
+	x := Explanation{Subject: SubjectRequest, Name: id, Now: state.Now}
 	x.collect(events, func(e model.Event) bool { return e.Request == id })
 	if len(x.Events) == 0 {
 		return x
 	}
-	from := x.Events[0].Stamp.Wall - contextSpan
-	to := x.Events[len(x.Events)-1].Stamp.Wall + contextSpan
+	from := x.Events[0].Stamp.Wall - relatedEventsSpan
+	to := x.Events[len(x.Events)-1].Stamp.Wall + relatedEventsSpan
 	involved := map[model.InstanceID]bool{}
 	for _, e := range x.Events {
 		if e.Instance != "" {
@@ -75,17 +78,18 @@
 	if over := len(x.RelatedEvents) - MaxEvents; over > 0 {
 		x.RelatedEvents = slices.Clone(x.RelatedEvents[over:])
 	}
-	latest := latestUpstreams(events)
-	for _, i := range sorted(o.Instances) {
+	latest := latestUpstreamEvents(events)
+	for _, i := range sortedByKey(state.Instances) {
 		if involved[i.ID] {
-			x.Obstacles = append(x.Obstacles, instanceBlocks(o, latest, i)...)
+			x.Obstacles = append(x.Obstacles, instanceObstacles(state, latest, i)...)
 		}
 	}
 	return x
 }
 
-// addPool compares a pool with what the contract promises in it. Instances
-// that come back from maintenance by themselves call for no action.
+// addPool adds the state of a pool to the explanation, and an obstacle if fewer
+// instances are serving than the contract promises. If instances that return from
+// a release or maintenance cover the shortfall, the advice is to wait.
 func (x *Explanation) addPool(share model.PoolShare, spare bool, instances []model.Instance) {
 	p := PoolState{Pool: share.Pool, Promised: share.Instances, Spare: spare}
 	returning := 0
@@ -110,42 +114,43 @@
 	if missing <= 0 {
 		return
 	}
-	b := Obstacle{
+	obstacle := Obstacle{
 		Kind: ObstacleCapacityMissing, Pool: p.Pool, Customer: x.Contract.Customer, Missing: missing,
 		Advice: Advice{ActionWait, string(p.Pool)},
 	}
 	if missing > returning {
-		b.Advice.Action = ActionAddInstances
+		obstacle.Advice.Action = ActionAddInstances
 	}
-	x.Obstacles = append(x.Obstacles, b)
+	x.Obstacles = append(x.Obstacles, obstacle)
 }
 
-func holds(c model.Contract, p model.Pool) bool {
+func contractHasPool(c model.Contract, p model.Pool) bool {
 	return slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
 }
 
-// disruption reports whether the customer's limit of unavailable instances is
-// reached by released instances and those in maintenance.
-func disruption(o CurrentState, c model.Contract) (b Obstacle, reached bool) {
-	out := 0
-	for _, i := range o.Instances {
-		if holds(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
-			out++
+// disruptionObstacle returns the obstacle of a customer's limit of unavailable
+// instances and reports whether the limit is reached. Instances that are being
+// released or are in maintenance count as unavailable.
+func disruptionObstacle(state CurrentState, c model.Contract) (obstacle Obstacle, reached bool) {
+	unavailable := 0
+	for _, i := range state.Instances {
+		if contractHasPool(c, i.Pool) && (i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance) {
+			unavailable++
 		}
 	}
-	b = Obstacle{
+	obstacle = Obstacle{
 		Kind: ObstacleDisruptionLimit, Customer: c.Customer, Limit: "max-unavailable", Value: int64(c.MaxUnavailable),
 		Advice: adviceFor("max-unavailable"),
 	}
-	if out > 0 {
-		b.Advice = Advice{ActionWait, "max-unavailable"}
+	if unavailable > 0 {
+		obstacle.Advice = Advice{ActionWait, "max-unavailable"}
 	}
-	return b, out >= c.MaxUnavailable
+	return obstacle, unavailable >= c.MaxUnavailable
 }
 
-// latestUpstreams returns, for each instance, the last event that says
-// whether it is there and fit for work.
-func latestUpstreams(events []model.Event) map[model.InstanceID]model.Event {
+// latestUpstreamEvents returns, for each instance, the last event that reports
+// whether the upstream is present and healthy.
+func latestUpstreamEvents(events []model.Event) map[model.InstanceID]model.Event {
 	latest := map[model.InstanceID]model.Event{}
 	for _, e := range events {
 		switch e.Kind {
@@ -157,66 +162,68 @@
 	return latest
 }
 
-// instanceBlocks returns what keeps an instance from serving or moving on.
-func instanceBlocks(o CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
-	var blocks []Obstacle
+// instanceObstacles returns the obstacles that keep an instance from serving or
+// from leaving its current phase.
+func instanceObstacles(state CurrentState, latest map[model.InstanceID]model.Event, i model.Instance) []Obstacle {
+	var obstacles []Obstacle
 	switch i.Phase {
 	case model.PhaseReleasing:
-		for _, p := range o.Processes {
+		for _, p := range state.Processes {
 			if p.Zone == i.Zone && p.DrainedVersion < i.Version {
-				blocks = append(blocks, Obstacle{
+				obstacles = append(obstacles, Obstacle{
 					Kind: ObstacleReleaseUnconfirmed, Instance: i.ID, Pool: i.Pool, Process: p.Name,
-					Since: i.PhaseSince, Advice: confirmAdvice(o, p),
+					Since: i.PhaseSince, Advice: releaseAdvice(state, p),
 				})
 			}
 		}
 	case model.PhaseMaintenance:
-		blocks = append(blocks, Obstacle{
+		obstacles = append(obstacles, Obstacle{
 			Kind: ObstacleNotReturned, Instance: i.ID, Pool: i.Pool, Since: i.PhaseSince,
 			Advice: instanceAdvice(ActionCheckPlatform, i.ID),
 		})
 	case model.PhaseServing:
 		e, ok := latest[i.ID]
 		if ok && e.Kind == model.EventEjected {
-			blocks = append(blocks, Obstacle{
+			obstacles = append(obstacles, Obstacle{
 				Kind: ObstacleEjected, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepairUpstream, i.ID),
 			})
 		}
 		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
-			blocks = append(blocks, Obstacle{
+			obstacles = append(obstacles, Obstacle{
 				Kind: ObstacleNotAnnounced, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
 			})
 		}
 	}
-	return blocks
+	return obstacles
 }
 
-// waveBlocks returns the declared maintenance that has not reached a serving
-// instance, with the customers whose limits hold it up.
-func waveBlocks(o CurrentState, i model.Instance) []Obstacle {
+// maintenanceObstacles returns an obstacle for each declared maintenance that is
+// due for a serving instance, and one for each customer of its pool whose limit
+// of unavailable instances delays it.
+func maintenanceObstacles(state CurrentState, i model.Instance) []Obstacle {
 	if i.Phase != model.PhaseServing {
 		return nil
 	}
-	var blocks []Obstacle
-	for _, m := range sorted(o.Maintenance) {
+	var obstacles []Obstacle
+	for _, m := range sortedByKey(state.Maintenance) {
 		if !m.Selector.Matches(i) || i.MaintainedAt >= m.DeclaredAt {
 			continue
 		}
-		blocks = append(blocks, Obstacle{
+		obstacles = append(obstacles, Obstacle{
 			Kind: ObstacleMaintenanceDue, Instance: i.ID, Pool: i.Pool, Maintenance: m.Name,
 			Since: m.DeclaredAt, Deadline: m.Deadline, Advice: Advice{ActionWait, m.Name},
 		})
 	}
-	if len(blocks) == 0 {
+	if len(obstacles) == 0 {
 		return nil
 	}
-	for _, c := range sorted(o.Contracts) {
-		if b, reached := disruption(o, c); reached && holds(c, i.Pool) {
-			b.Instance, b.Pool = i.ID, i.Pool
-			blocks = append(blocks, b)
+	for _, c := range sortedByKey(state.Contracts) {
+		if obstacle, reached := disruptionObstacle(state, c); reached && contractHasPool(c, i.Pool) {
+			obstacle.Instance, obstacle.Pool = i.ID, i.Pool
+			obstacles = append(obstacles, obstacle)
 		}
 	}
-	return blocks
+	return obstacles
 }
