--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -229,7 +229,7 @@
 		}
 		g.End(l, elapsed)
 	}
-	assert.Assert(t, l.hall.needs() < 50, "%d", l.hall.needs())
+	assert.Assert(t, l.poolQueues.timeNeeded() < 50, "%d", l.poolQueues.timeNeeded())
 	_, why := g.Enqueue(0, 200, l, 32, 1)
 	assert.Equal(t, why, ReasonNone)
 }
--- a/core/state/admit/gate.go
+++ b/core/state/admit/controller.go
@@ -41,18 +41,18 @@
 }
 
 const (
-	// smoothing is the weight of a new sample in the typical run time.
-	smoothing = 0.1
-	// likely is the share of requests that end within the time that a request
+	// runTimeWeight is the weight of a new sample in the typical run time.
+	runTimeWeight = 0.1
+	// likelyShare is the share of requests that end within the time that a request
 	// must have left when it starts, and likelyStep the step of its estimate as
 	// a part of the typical run time. With the mean in its place, half of the
 	// requests that start at the last moment ran in vain, and a few long
 	// requests kept all short ones from waiting.
-	likely     = 0.85
-	likelyStep = 0.05
-	// fall is the part of the distance to the typical run time that replaces
+	likelyShare = 0.85
+	likelyStep  = 0.05
+	// likelyFall is the part of the distance to the typical run time that replaces
 	// the step when it is larger.
-	fall = 0.2
+	likelyFall = 0.2
 	// waitMargin is the part by which a wait may be longer than estimated; the
 	// estimate leaves out the time between two requests on a slot.
 	waitMargin = 0.125
@@ -61,13 +61,13 @@
 // Controller decides who runs. R is the caller's reference for a waiting request.
 // It is not safe for use by several goroutines.
 type Controller[P Picker, R any] struct {
-	picker    P
-	customers map[model.Customer]*CustomerState[R]
-	pools     map[model.Pool]*hall[R]
-	arrivals  uint64
-	// turns and lines are scratch space for one choice.
-	turns []*QueueInfo
-	lines []*Queue[R]
+	picker      P
+	customers   map[model.Customer]*CustomerState[R]
+	pools       map[model.Pool]*poolQueues[R]
+	lastArrival uint64
+	// candidateInfos and lines are scratch space for one choice.
+	candidateInfos []*QueueInfo
+	candidates     []*Queue[R]
 }
 
 // CustomerState is the state of one customer in this process.
@@ -86,41 +86,41 @@
 	// account stays until they end, so that a new contract of the same name
 	// counts them.
 	removed bool
-	lines   map[model.Pool]*Queue[R]
+	queues  map[model.Pool]*Queue[R]
 }
 
-// hall holds the lines of one pool.
-type hall[R any] struct {
+// poolQueues holds the lines of one pool.
+type poolQueues[R any] struct {
 	// active lists the lines that have waiters.
 	active []*Queue[R]
-	// pass is the virtual time of the last start.
-	pass float64
-	// typical is the smoothed run time in milliseconds; 0 without a sample.
-	typical float64
-	// quantile estimates the run time that the share likely of requests stays
+	// virtualTime is the virtual time of the last start.
+	virtualTime float64
+	// typicalRunTime is the smoothed run time in milliseconds; 0 without a sample.
+	typicalRunTime float64
+	// likelyRunTime estimates the run time that the share likely of requests stays
 	// below.
-	quantile float64
+	likelyRunTime float64
 }
 
-// needs is the time that a request should have left when it starts.
-func (h *hall[R]) needs() clock.Millis { return clock.Millis(math.Ceil(h.quantile)) }
+// timeNeeded is the time that a request should have left when it starts.
+func (h *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(h.likelyRunTime)) }
 
-// learn takes in the run time of a request.
-func (h *hall[R]) learn(elapsed float64) {
-	if h.typical == 0 {
-		h.typical, h.quantile = elapsed, elapsed
+// addRunTime takes in the run time of a request.
+func (h *poolQueues[R]) addRunTime(elapsed float64) {
+	if h.typicalRunTime == 0 {
+		h.typicalRunTime, h.likelyRunTime = elapsed, elapsed
 		return
 	}
-	h.typical += smoothing * (elapsed - h.typical)
-	step := likelyStep * h.typical
-	if elapsed < h.quantile {
+	h.typicalRunTime += runTimeWeight * (elapsed - h.typicalRunTime)
+	step := likelyStep * h.typicalRunTime
+	if elapsed < h.likelyRunTime {
 		// Far above the typical run time the estimate falls geometrically, so
 		// that one long request does not stand for thousands of others.
-		step = max(step, (h.quantile-h.typical)*fall)
-		h.quantile = max(h.quantile-step*(1-likely), 0)
+		step = max(step, (h.likelyRunTime-h.typicalRunTime)*likelyFall)
+		h.likelyRunTime = max(h.likelyRunTime-step*(1-likelyShare), 0)
 		return
 	}
-	h.quantile += step * likely
+	h.likelyRunTime += step * likelyShare
 }
 
 // New returns a gate without customers.
@@ -128,7 +128,7 @@
 	return &Controller[P, R]{
 		picker:    picker,
 		customers: map[model.Customer]*CustomerState[R]{},
-		pools:     map[model.Pool]*hall[R]{},
+		pools:     map[model.Pool]*poolQueues[R]{},
 	}
 }
 
@@ -137,7 +137,7 @@
 func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
-		a = &CustomerState[R]{Name: name, lines: map[model.Pool]*Queue[R]{}}
+		a = &CustomerState[R]{Name: name, queues: map[model.Pool]*Queue[R]{}}
 		if share.RetryPercent > 0 {
 			a.RetryTokens = 1
 		}
@@ -149,16 +149,16 @@
 	covered := make(map[model.Pool]bool, len(pools))
 	for _, p := range pools {
 		covered[p.Pool] = true
-		if a.lines[p.Pool] == nil {
-			a.lines[p.Pool] = &Queue[R]{Customer: a, Pool: p.Pool, hall: g.hall(p.Pool)}
+		if a.queues[p.Pool] == nil {
+			a.queues[p.Pool] = &Queue[R]{Customer: a, Pool: p.Pool, poolQueues: g.poolQueues(p.Pool)}
 		}
-		a.lines[p.Pool].turn.Weight = share.Weight
+		a.queues[p.Pool].info.Weight = share.Weight
 	}
 	var out []R
-	for p, l := range a.lines {
+	for p, l := range a.queues {
 		if !covered[p] {
 			out = l.clear(out)
-			delete(a.lines, p)
+			delete(a.queues, p)
 		}
 	}
 	return out
@@ -171,25 +171,25 @@
 		return nil
 	}
 	var out []R
-	for _, l := range a.lines {
+	for _, l := range a.queues {
 		out = l.clear(out)
 	}
 	a.removed = true
-	g.forget(a)
+	g.dropUnused(a)
 	return out
 }
 
-// forget drops an account whose contract ended and that has nothing in flight.
-func (g *Controller[P, R]) forget(a *CustomerState[R]) {
+// dropUnused drops an account whose contract ended and that has nothing in flight.
+func (g *Controller[P, R]) dropUnused(a *CustomerState[R]) {
 	if a.removed && a.Running == 0 {
 		delete(g.customers, a.Name)
 	}
 }
 
-func (g *Controller[P, R]) hall(p model.Pool) *hall[R] {
+func (g *Controller[P, R]) poolQueues(p model.Pool) *poolQueues[R] {
 	h := g.pools[p]
 	if h == nil {
-		h = &hall[R]{}
+		h = &poolQueues[R]{}
 		g.pools[p] = h
 	}
 	return h
@@ -202,7 +202,7 @@
 	if a == nil || a.removed {
 		return nil, ReasonContract
 	}
-	l := a.lines[p]
+	l := a.queues[p]
 	if l == nil {
 		return nil, ReasonPool
 	}
@@ -225,7 +225,7 @@
 // EachWaiting calls f for every pool with the number of the customer's queued
 // requests, where there are any.
 func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
-	for p, l := range a.lines {
+	for p, l := range a.queues {
 		if l.length > 0 {
 			f(p, l.length)
 		}
@@ -235,22 +235,22 @@
 // Start counts a request that runs without having waited.
 func (g *Controller[P, R]) Start(l *Queue[R]) {
 	l.Customer.Running++
-	l.start()
+	l.advanceVirtualTime()
 }
 
 // End counts the end of a request. A run time below 0 is not learnt from.
 func (g *Controller[P, R]) End(l *Queue[R], elapsed clock.Millis) {
 	l.Customer.Running--
-	g.forget(l.Customer)
+	g.dropUnused(l.Customer)
 	if elapsed >= 0 {
-		l.hall.learn(float64(elapsed))
+		l.poolQueues.addRunTime(float64(elapsed))
 	}
 }
 
 // TypicalRunTime is the smoothed run time of a pool; 0 when it is not known.
 func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
 	if h := g.pools[p]; h != nil {
-		return clock.Millis(h.typical)
+		return clock.Millis(h.typicalRunTime)
 	}
 	return 0
 }
@@ -264,11 +264,11 @@
 	}
 	wait := l.EstimateWait(slots)
 	wait += clock.Millis(float64(wait) * waitMargin)
-	if now+wait+l.hall.needs() >= deadline {
+	if now+wait+l.poolQueues.timeNeeded() >= deadline {
 		return nil, ReasonDeadline
 	}
-	g.arrivals++
-	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, number: g.arrivals}
+	g.lastArrival++
+	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, arrival: g.lastArrival}
 	l.push(w)
 	return w, ReasonNone
 }
@@ -308,22 +308,22 @@
 	if h == nil {
 		return nil, late
 	}
-	late = h.dropLate(now+h.needs(), late)
-	g.turns, g.lines = g.turns[:0], g.lines[:0]
+	late = h.dropUnfinishable(now+h.timeNeeded(), late)
+	g.candidateInfos, g.candidates = g.candidateInfos[:0], g.candidates[:0]
 	for _, l := range h.active {
 		if l.CanRun() {
-			g.turns = append(g.turns, &l.turn)
-			g.lines = append(g.lines, l)
+			g.candidateInfos = append(g.candidateInfos, &l.info)
+			g.candidates = append(g.candidates, l)
 		}
 	}
-	if len(g.lines) == 0 {
+	if len(g.candidates) == 0 {
 		return nil, late
 	}
-	l := g.lines[g.picker.Pick(g.turns)]
+	l := g.candidates[g.picker.Pick(g.candidateInfos)]
 	w := l.first
 	l.remove(w)
 	l.Customer.Running++
-	l.start()
+	l.advanceVirtualTime()
 	return w, late
 }
 
--- a/core/state/admit/line.go
+++ b/core/state/admit/queue.go
@@ -7,15 +7,15 @@
 
 // Queue is the queue of one customer in one pool, first come, first served.
 type Queue[R any] struct {
-	Customer *CustomerState[R]
-	Pool     model.Pool
-	hall     *hall[R]
-	turn     QueueInfo
-	first    *Waiter[R]
-	last     *Waiter[R]
-	length   int
-	// place is the index in hall.active while length is above 0.
-	place int
+	Customer   *CustomerState[R]
+	Pool       model.Pool
+	poolQueues *poolQueues[R]
+	info       QueueInfo
+	first      *Waiter[R]
+	last       *Waiter[R]
+	length     int
+	// activeIndex is the index in hall.active while length is above 0.
+	activeIndex int
 }
 
 // Waiter is a queued request.
@@ -23,14 +23,14 @@
 	Ref      R
 	Deadline clock.Millis
 	Arrived  clock.Millis
-	// number orders the waiters of all lines by arrival.
-	number     uint64
-	line       *Queue[R]
+	// arrival orders the waiters of all lines by arrival.
+	arrival    uint64
+	queue      *Queue[R]
 	prev, next *Waiter[R]
 }
 
 // Queue returns the line that the waiter stood in.
-func (w *Waiter[R]) Queue() *Queue[R] { return w.line }
+func (w *Waiter[R]) Queue() *Queue[R] { return w.queue }
 
 // CanRun reports whether the customer is below its share.
 func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.MaxInFlight }
@@ -42,33 +42,33 @@
 // slots requests at once. The pool's rate is divided between the waiting
 // customers by weight, and a customer's rate is bounded by its share.
 func (l *Queue[R]) EstimateWait(slots int) clock.Millis {
-	if l.hall.typical == 0 || slots <= 0 {
+	if l.poolQueues.typicalRunTime == 0 || slots <= 0 {
 		return 0
 	}
-	total := l.turn.Weight
-	for _, o := range l.hall.active {
+	total := l.info.Weight
+	for _, o := range l.poolQueues.active {
 		if o != l {
-			total += o.turn.Weight
+			total += o.info.Weight
 		}
 	}
-	rate := float64(slots) * float64(l.turn.Weight) / float64(total)
+	rate := float64(slots) * float64(l.info.Weight) / float64(total)
 	rate = min(rate, float64(l.Customer.Limit.MaxInFlight))
-	return clock.Millis(float64(l.length+1) * l.hall.typical / rate)
+	return clock.Millis(float64(l.length+1) * l.poolQueues.typicalRunTime / rate)
 }
 
 // Remove takes a waiter out of its line, for a request that was given up.
 func (l *Queue[R]) Remove(w *Waiter[R]) { l.remove(w) }
 
 func (l *Queue[R]) push(w *Waiter[R]) {
-	w.line = l
+	w.queue = l
 	w.prev = l.last
 	if l.last == nil {
 		l.first = w
-		l.turn.FirstArrival = w.number
-		l.place = len(l.hall.active)
-		l.hall.active = append(l.hall.active, l)
+		l.info.FirstArrival = w.arrival
+		l.activeIndex = len(l.poolQueues.active)
+		l.poolQueues.active = append(l.poolQueues.active, l)
 		// A line that was idle gets no credit for the time it did not use.
-		l.turn.VirtualTime = max(l.turn.VirtualTime, l.hall.pass)
+		l.info.VirtualTime = max(l.info.VirtualTime, l.poolQueues.virtualTime)
 	} else {
 		l.last.next = w
 	}
@@ -92,22 +92,22 @@
 	l.length--
 	l.Customer.Waiting--
 	if l.first != nil {
-		l.turn.FirstArrival = l.first.number
+		l.info.FirstArrival = l.first.arrival
 		return
 	}
-	h := l.hall
+	h := l.poolQueues
 	end := len(h.active) - 1
-	h.active[l.place] = h.active[end]
-	h.active[l.place].place = l.place
+	h.active[l.activeIndex] = h.active[end]
+	h.active[l.activeIndex].activeIndex = l.activeIndex
 	h.active[end] = nil
 	h.active = h.active[:end]
 }
 
-// start moves the virtual time of the line on by one request.
-func (l *Queue[R]) start() {
-	l.turn.VirtualTime = max(l.turn.VirtualTime, l.hall.pass)
-	l.hall.pass = l.turn.VirtualTime
-	l.turn.VirtualTime += 1 / float64(l.turn.Weight)
+// advanceVirtualTime moves the virtual time of the line on by one request.
+func (l *Queue[R]) advanceVirtualTime() {
+	l.info.VirtualTime = max(l.info.VirtualTime, l.poolQueues.virtualTime)
+	l.poolQueues.virtualTime = l.info.VirtualTime
+	l.info.VirtualTime += 1 / float64(l.info.Weight)
 }
 
 // expire removes the waiters whose deadline is at or before now.
@@ -131,10 +131,10 @@
 	return out
 }
 
-// dropLate removes the waiters at the heads of the lines that cannot end in
+// dropUnfinishable removes the waiters at the heads of the lines that cannot end in
 // time: their deadline is at or before end, the time at which a request that
 // starts now has ended most likely.
-func (h *hall[R]) dropLate(end clock.Millis, late []R) []R {
+func (h *poolQueues[R]) dropUnfinishable(end clock.Millis, late []R) []R {
 	for i := len(h.active) - 1; i >= 0; i-- {
 		l := h.active[i]
 		for l.first != nil && l.first.Deadline <= end {
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -20,14 +20,14 @@
 			return r
 		}
 	}
-	r := s.dispatch(index, c)
+	r := s.applyByKind(index, c)
 	if c.Request != "" {
 		s.Results.Put(c.Request, r, s.Time)
 	}
 	return r
 }
 
-func (s *State) dispatch(index model.Version, c model.Change) model.Result {
+func (s *State) applyByKind(index model.Version, c model.Change) model.Result {
 	switch c.Kind {
 	case model.ChangeNone:
 		return model.Result{Version: index}
@@ -40,13 +40,13 @@
 	case model.ChangeMaintenanceCancel:
 		return s.cancelMaintenance(index, c)
 	case model.ChangeInstances:
-		return s.stepInstances(index, c)
+		return s.applyInstanceSteps(index, c)
 	case model.ChangeClaims:
 		return s.applyClaims(index, c)
 	case model.ChangeOutcomes:
 		return s.applyOutcomes(index, c)
 	case model.ChangeProcessGone:
-		return s.declareGone(index, c)
+		return s.declareProcessGone(index, c)
 	case model.ChangeJobs:
 		s.Jobs.Apply(c.Ops, s.Time)
 		return model.Result{Version: index}
@@ -55,8 +55,8 @@
 	}
 }
 
-// declareGone remembers that the runs of an entry process so far have ended.
-func (s *State) declareGone(index model.Version, c model.Change) model.Result {
+// declareProcessGone remembers that the runs of an entry process so far have ended.
+func (s *State) declareProcessGone(index model.Version, c model.Change) model.Result {
 	if c.Process == "" {
 		return invalid("the change names no process")
 	}
@@ -90,19 +90,19 @@
 	}
 }
 
-// missing answers a removal of an object that does not exist. When its
+// removalConflict answers a removal of an object that does not exist. When its
 // removal is still remembered, that removal won against this one.
-func (s *State) missing(object string) model.Result {
+func (s *State) removalConflict(object string) model.Result {
 	if _, known := s.Authors[object]; known {
 		return s.conflict(object, 0, nil)
 	}
 	return invalid(object + " does not exist")
 }
 
-// removed records who removed an object and forgets the oldest removals. Half
+// recordRemoval records who recordRemoval an object and forgets the oldest removals. Half
 // of them go at once, so that the search for the oldest is paid once for many
 // removals.
-func (s *State) removed(object, author string, index model.Version) {
+func (s *State) recordRemoval(object, author string, index model.Version) {
 	s.Authors[object] = Author{Name: author, Version: index}
 	over := len(s.Authors) - len(s.Contracts) - len(s.Instances) - len(s.Maintenance) - MaxRemoved
 	if over <= 0 {
@@ -150,7 +150,7 @@
 	next.Version = index
 	s.Contracts[name] = next
 	s.Authors[object] = Author{Name: c.Author, Version: index}
-	s.touch(TableChange{Version: index, Contract: name})
+	s.recordTableChange(TableChange{Version: index, Contract: name})
 	return model.Result{Version: index, Reason: c.Note}
 }
 
@@ -158,14 +158,14 @@
 	held, ok := s.Contracts[c.Customer]
 	object := "contract " + string(c.Customer)
 	if !ok {
-		return s.missing(object)
+		return s.removalConflict(object)
 	}
 	if held.Version != c.Base {
 		return s.conflict(object, held.Version, nil)
 	}
 	delete(s.Contracts, c.Customer)
-	s.removed(object, c.Author, index)
-	s.touch(TableChange{Version: index, Contract: c.Customer})
+	s.recordRemoval(object, c.Author, index)
+	s.recordTableChange(TableChange{Version: index, Contract: c.Customer})
 	return model.Result{Version: index}
 }
 
@@ -190,13 +190,13 @@
 	held, ok := s.Maintenance[c.Maintenance.Name]
 	object := "maintenance " + c.Maintenance.Name
 	if !ok {
-		return s.missing(object)
+		return s.removalConflict(object)
 	}
 	if held.Version != c.Base {
 		return s.conflict(object, held.Version, nil)
 	}
 	delete(s.Maintenance, c.Maintenance.Name)
-	s.removed(object, c.Author, index)
+	s.recordRemoval(object, c.Author, index)
 	return model.Result{Version: index}
 }
 
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -10,7 +10,7 @@
 // request was not finished. A claim without a token is refused: two attempts
 // without one would both be granted.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
-	s.beginRun(c.Process, c.Incarnation)
+	s.setIncarnation(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
 		held, ok := s.Claims.Get(claim.Key)
@@ -29,10 +29,10 @@
 	return r
 }
 
-// beginRun notes the incarnation of an entry process. The requests of its
+// setIncarnation notes the incarnation of an entry process. The requests of its
 // earlier runs have ended with them, so what is known of those that were
 // running becomes unknown. The claims are looked at once for each run.
-func (s *State) beginRun(p model.Process, run uint64) {
+func (s *State) setIncarnation(p model.Process, run uint64) {
 	held, known := s.Incarnations[p]
 	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxIncarnations) {
 		return
--- a/core/state/fleet/memory.go
+++ b/core/state/fleet/expiring_map.go
@@ -8,14 +8,14 @@
 	// Limit is the largest number of keys; at least 1.
 	Limit    int
 	Lifetime clock.Millis
-	items    map[K]remembered[V]
+	items    map[K]mapEntry[V]
 	// order holds the keys in the order of their first Put; keys that were
 	// removed or put again stay in it until they reach the front.
 	order []orderedKey[K]
 	next  uint64
 }
 
-type remembered[V any] struct {
+type mapEntry[V any] struct {
 	value V
 	time  clock.Millis
 	id    uint64
@@ -27,13 +27,13 @@
 	time clock.Millis
 }
 
-// minCompact is the number of stale keys below which a compaction is not
+// minStaleKeys is the number of stale keys below which a compaction is not
 // worth its copy.
-const minCompact = 64
+const minStaleKeys = 64
 
 // NewExpiringMap returns an empty memory.
 func NewExpiringMap[K comparable, V any](limit int, lifetime clock.Millis) *ExpiringMap[K, V] {
-	return &ExpiringMap[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]remembered[V]{}}
+	return &ExpiringMap[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]mapEntry[V]{}}
 }
 
 // Get returns the value of a key that was not forgotten yet.
@@ -45,7 +45,7 @@
 // Put remembers a value from now on and forgets what is too old.
 func (m *ExpiringMap[K, V]) Put(k K, v V, now clock.Millis) {
 	m.next++
-	m.items[k] = remembered[V]{value: v, time: now, id: m.next}
+	m.items[k] = mapEntry[V]{value: v, time: now, id: m.next}
 	m.order = append(m.order, orderedKey[K]{key: k, id: m.next, time: now})
 	m.Expire(now)
 	m.compact()
@@ -55,7 +55,7 @@
 // the keys held. Without it a single old key at the front would keep every
 // key removed after it for a whole lifetime.
 func (m *ExpiringMap[K, V]) compact() {
-	if len(m.order) <= 2*len(m.items)+minCompact {
+	if len(m.order) <= 2*len(m.items)+minStaleKeys {
 		return
 	}
 	kept := make([]orderedKey[K], 0, len(m.items))
--- a/core/state/fleet/memory_test.go
+++ b/core/state/fleet/expiring_map_test.go
@@ -27,7 +27,7 @@
 			v, ok := m.Get(k)
 			assert.Assert(t, ok && v == n)
 			assert.Assert(t, m.Len() <= m.Limit)
-			assert.Assert(t, len(m.order) <= 2*m.Len()+minCompact+1, "%d keys in order for %d held", len(m.order), m.Len())
+			assert.Assert(t, len(m.order) <= 2*m.Len()+minStaleKeys+1, "%d keys in order for %d held", len(m.order), m.Len())
 			last := clock.Millis(-1)
 			m.Each(func(_, _ int, at clock.Millis) {
 				assert.Assert(t, at >= last && at+m.Lifetime > now)
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -20,9 +20,9 @@
 	model.PhaseRetired:     nil,
 }
 
-// stepInstances applies all steps or none, so that a batch that was decided
+// applyInstanceSteps applies all steps or none, so that a batch that was decided
 // on an outdated state changes nothing.
-func (s *State) stepInstances(index model.Version, c model.Change) model.Result {
+func (s *State) applyInstanceSteps(index model.Version, c model.Change) model.Result {
 	seen := make(map[model.InstanceID]bool, len(c.Instances))
 	for _, step := range c.Instances {
 		id := step.Instance.ID
@@ -41,11 +41,11 @@
 	}
 	retired := false
 	for _, step := range c.Instances {
-		next := s.account(s.Instances[step.Instance.ID], step.Instance, s.Time)
+		next := s.withTimes(s.Instances[step.Instance.ID], step.Instance, s.Time)
 		next.Version = index
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
-		s.touch(TableChange{Version: index, Instance: next.ID})
+		s.recordTableChange(TableChange{Version: index, Instance: next.ID})
 		retired = retired || next.Phase == model.PhaseRetired
 	}
 	if retired {
@@ -54,11 +54,11 @@
 	return model.Result{Version: index}
 }
 
-// account sets the times of the next state of an instance and remembers an
+// withTimes sets the times of the next state of an instance and remembers an
 // outage that ends with it. now is the state's time, not that of the change: a
 // new leader's clock may be behind, and an outage must not end before its
 // start.
-func (s *State) account(held, next model.Instance, now clock.Millis) model.Instance {
+func (s *State) withTimes(held, next model.Instance, now clock.Millis) model.Instance {
 	next.PhaseSince = held.PhaseSince
 	if held.ID == "" || next.Phase != held.Phase {
 		next.PhaseSince = now
@@ -90,7 +90,7 @@
 	case next.Phase == model.PhaseReleasing && next.Target == "":
 		return fmt.Sprintf("the release of instance %s names no target pool", next.ID)
 	case held.ID == "":
-		return checkEnrol(next)
+		return checkEnrolment(next)
 	case held.Zone != next.Zone:
 		return fmt.Sprintf("instance %s is in zone %s, not %s", held.ID, held.Zone, next.Zone)
 	case !slices.Contains(transitions[held.Phase], next.Phase):
@@ -101,7 +101,7 @@
 	return ""
 }
 
-func checkEnrol(next model.Instance) string {
+func checkEnrolment(next model.Instance) string {
 	if next.Phase != model.PhaseServing && next.Phase != model.PhaseMaintenance {
 		return fmt.Sprintf("instance %s cannot be enrolled as %s", next.ID, next.Phase)
 	}
@@ -134,11 +134,11 @@
 	for _, i := range retired[:over] {
 		delete(s.Instances, i.ID)
 		delete(s.Authors, "instance "+string(i.ID))
-		s.touch(TableChange{Version: index, Instance: i.ID})
+		s.recordTableChange(TableChange{Version: index, Instance: i.ID})
 	}
 }
 
-func (s *State) touch(t TableChange) {
+func (s *State) recordTableChange(t TableChange) {
 	s.Version = t.Version
 	s.TableChanges = append(s.TableChanges, t)
 	if over := len(s.TableChanges) - MaxTableChanges; over > 0 {
@@ -155,7 +155,7 @@
 	if from == s.Version {
 		return model.Delta{From: from, To: s.Version}
 	}
-	if from > s.Version || !s.covers(from) {
+	if from > s.Version || !s.changesReach(from) {
 		return s.fullDelta()
 	}
 	d := model.Delta{From: from, To: s.Version}
@@ -191,8 +191,8 @@
 	d.RemovedInstances = append(d.RemovedInstances, id)
 }
 
-// covers reports whether the touches hold every change after from.
-func (s *State) covers(from model.Version) bool {
+// changesReach reports whether the touches hold every change after from.
+func (s *State) changesReach(from model.Version) bool {
 	if len(s.TableChanges) < MaxTableChanges {
 		return true
 	}
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -115,7 +115,7 @@
 // Derive returns every limit that the contract leads to.
 func Derive[P SlotsPolicy](policy P, c model.Contract, f Fleet) Set {
 	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
-	s.Queue = asked(Queue, c.Queue)
+	s.Queue = requested(Queue, c.Queue)
 	s.Retries = Limit{
 		Name: Retries, Requested: int64(c.RetryPercent), Rule: RulePercent,
 		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
@@ -124,16 +124,16 @@
 			{"retry-percent", int64(c.RetryPercent)},
 		},
 	}
-	s.MaxUnavailable = asked(MaxUnavailable, c.MaxUnavailable)
+	s.MaxUnavailable = requested(MaxUnavailable, c.MaxUnavailable)
 	if all := int64(PromisedInstances(c) + c.Spare); s.MaxUnavailable.Value > all {
 		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleAllInstances
 		s.MaxUnavailable.Operands = append(s.MaxUnavailable.Operands, Operand{"instances", all})
 	}
-	s.Budget = budget(c.BudgetMillis, c.WindowMillis)
-	s.Spare = asked(Spare, c.Spare)
-	s.MilliCores = asked(MilliCores, c.Quota.MilliCores)
-	s.MemoryMiB = asked(MemoryMiB, c.Quota.MemoryMiB)
-	s.Accelerators = asked(Accelerators, c.Quota.Accelerators)
+	s.Budget = outageBudget(c.BudgetMillis, c.WindowMillis)
+	s.Spare = requested(Spare, c.Spare)
+	s.MilliCores = requested(MilliCores, c.Quota.MilliCores)
+	s.MemoryMiB = requested(MemoryMiB, c.Quota.MemoryMiB)
+	s.Accelerators = requested(Accelerators, c.Quota.Accelerators)
 	return s
 }
 
@@ -147,14 +147,14 @@
 	return n
 }
 
-func asked(name Name, v int) Limit {
+func requested(name Name, v int) Limit {
 	return Limit{
 		Name: name, Requested: int64(v), Value: int64(v), Rule: RuleRequested,
 		Operands: []Operand{{string(name), int64(v)}},
 	}
 }
 
-func budget(b, window clock.Millis) Limit {
+func outageBudget(b, window clock.Millis) Limit {
 	l := Limit{
 		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
 		Operands: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
@@ -167,7 +167,7 @@
 
 func concurrency[P SlotsPolicy](policy P, c model.Contract, f Fleet) Limit {
 	if c.Concurrency > 0 {
-		return asked(Concurrency, c.Concurrency)
+		return requested(Concurrency, c.Concurrency)
 	}
 	l := Limit{Name: Concurrency, Rule: RuleSlots}
 	for _, p := range c.Pools {
--- a/core/state/limits/judge.go
+++ b/core/state/limits/evaluate.go
@@ -101,11 +101,11 @@
 		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(q.Contract.Customer), Text: err.Error()})
 	} else {
 		all := allContracts(q)
-		v.Shortfalls = append(v.Shortfalls, shortInstances(all, q.Fleet)...)
-		v.Shortfalls = append(v.Shortfalls, shortSpare(q)...)
-		v.Shortfalls = append(v.Shortfalls, shortSlots(slots, q)...)
-		v.Shortfalls = append(v.Shortfalls, shortQuota(all, q.Fleet.WorkerResources)...)
-		v.Shortfalls = append(v.Shortfalls, shortMaintenance(set, q)...)
+		v.Shortfalls = append(v.Shortfalls, instanceShortfalls(all, q.Fleet)...)
+		v.Shortfalls = append(v.Shortfalls, spareShortfalls(q)...)
+		v.Shortfalls = append(v.Shortfalls, slotShortfalls(slots, q)...)
+		v.Shortfalls = append(v.Shortfalls, quotaShortfalls(all, q.Fleet.WorkerResources)...)
+		v.Shortfalls = append(v.Shortfalls, maintenanceShortfalls(set, q)...)
 	}
 	v.Decision = Accept
 	for _, s := range v.Shortfalls {
@@ -129,7 +129,7 @@
 	return all
 }
 
-func shortInstances(all []model.Contract, f Fleet) []Shortfall {
+func instanceShortfalls(all []model.Contract, f Fleet) []Shortfall {
 	promised, spare := 0, 0
 	for _, c := range all {
 		promised += PromisedInstances(c)
@@ -145,14 +145,14 @@
 	}}
 }
 
-// shortSpare compares the spare with the loss of the worst covered domain
+// spareShortfalls compares the spare with the loss of the worst covered domain
 // under the best possible spread. The domain's spare instances are lost with
 // it, so the spare must hold as many as the customer has in the domain.
-func shortSpare(q Input) []Shortfall {
+func spareShortfalls(q Input) []Shortfall {
 	c := q.Contract
 	total := PromisedInstances(c) + c.Spare
 	sizes := domainSizes(q.Fleet, c.Covers)
-	loss, name := evenLoad(sizes, total)
+	loss, name := smallestMaxLoad(sizes, total)
 	if loss <= c.Spare {
 		return nil
 	}
@@ -194,10 +194,10 @@
 	}
 }
 
-// evenLoad is the smallest possible count in the fullest domain when total
+// smallestMaxLoad is the smallest possible count in the fullest domain when total
 // instances are spread over the domains, and the name of a domain that is
 // filled to it.
-func evenLoad(sizes []domainSize, total int) (load int, name string) {
+func smallestMaxLoad(sizes []domainSize, total int) (load int, name string) {
 	largest := 0
 	for _, s := range sizes {
 		largest = max(largest, s.n)
@@ -219,8 +219,8 @@
 	return load, ""
 }
 
-// shortSlots states a concurrency that the promised instances cannot run.
-func shortSlots[P SlotsPolicy](slots P, q Input) []Shortfall {
+// slotShortfalls states a concurrency that the promised instances cannot run.
+func slotShortfalls[P SlotsPolicy](slots P, q Input) []Shortfall {
 	open := q.Contract
 	open.Concurrency = 0
 	have := concurrency(slots, open, q.Fleet).Value
@@ -233,7 +233,7 @@
 	}}
 }
 
-func shortQuota(all []model.Contract, have model.Quota) []Shortfall {
+func quotaShortfalls(all []model.Contract, have model.Quota) []Shortfall {
 	var need model.Quota
 	for _, c := range all {
 		need = need.Plus(c.Quota)
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -106,7 +106,7 @@
 		spare := rapid.IntRange(0, n-1).Draw(t, "spare")
 		promised := rapid.IntRange(1, n-spare).Draw(t, "promised")
 		q := Input{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
-		short := len(shortSpare(q)) > 0
+		short := len(spareShortfalls(q)) > 0
 		sizes, total, fits := domainSizes(q.Fleet, model.DomainZone), promised+spare, false
 		for a := 0; a <= sizes[0].n; a++ {
 			for b := 0; b <= sizes[1].n; b++ {
--- a/core/state/limits/error.go
+++ b/core/state/limits/validate.go
@@ -62,7 +62,7 @@
 	if c.WindowMillis == 0 && c.BudgetMillis > 0 {
 		return fail("a budget of %d ms without a window", c.BudgetMillis)
 	}
-	for _, f := range figuresOf(c) {
+	for _, f := range operandsOf(c) {
 		if f.Value < 0 {
 			return fail("%s is %d; the least is 0", f.Name, f.Value)
 		}
@@ -73,7 +73,7 @@
 	return nil
 }
 
-func figuresOf(c model.Contract) []Operand {
+func operandsOf(c model.Contract) []Operand {
 	return []Operand{
 		{"concurrency", int64(c.Concurrency)},
 		{"queue", int64(c.Queue)},
--- a/core/state/maint/doc.go
+++ b/core/state/maint/doc.go
@@ -1,8 +1,10 @@
-// Package maint decides the next steps of maintenance: which instance to
-// release, hand over, verify and return, and what the others wait for.
+// Package maint plans maintenance. It decides which instances to release, hand
+// over to the platform, verify and return to service, and which limits keep
+// the others waiting.
 //
-// A Board is an index over the replicated state, the reports about instances
-// and the pressure felt by callers. It holds nothing that those do not say, so
-// that a new leader which fills a new Board from them takes the same
-// decisions. A pass looks at what changed or fell due since the pass before.
+// A Planner is an index over the replicated state, the observations of
+// instances and the pressure on callers. All of its content derives from these
+// inputs, so a new leader that loads a new Planner from them makes the same
+// decisions. Each planning pass considers only what has changed or become due
+// since the previous pass.
 package maint
--- a/core/state/maint/yard.go
+++ b/core/state/maint/due_queue.go
@@ -7,21 +7,24 @@
 	"camphorridge/core/state/model"
 )
 
-// yard holds the instances of one pool that are due and serving, by rack.
-type yard struct {
+// dueQueue holds the serving instances of one pool that are due for
+// maintenance, by rack.
+type dueQueue struct {
 	// racks is sorted by zone, then by rack; none is empty.
-	racks []*shelf
+	racks []*rackQueue
 }
 
-// shelf holds the due instances of one rack, sorted by deadline, then by name.
-type shelf struct {
+// rackQueue holds the due instances of one rack, sorted by deadline, then by ID.
+type rackQueue struct {
 	zone  model.Zone
 	rack  model.Rack
 	items []*item
 }
 
-func (y *yard) find(i model.Instance) (at int, ok bool) {
-	return slices.BinarySearchFunc(y.racks, i, func(s *shelf, i model.Instance) int {
+// find returns the index of the instance's rack in racks, or the index at which
+// to insert it.
+func (y *dueQueue) find(i model.Instance) (at int, ok bool) {
+	return slices.BinarySearchFunc(y.racks, i, func(s *rackQueue, i model.Instance) int {
 		if c := strings.Compare(string(s.zone), string(i.Zone)); c != 0 {
 			return c
 		}
@@ -29,6 +32,7 @@
 	})
 }
 
+// byDeadline compares items by deadline, then by ID.
 func byDeadline(a, b *item) int {
 	if a.deadline != b.deadline {
 		if a.deadline < b.deadline {
@@ -39,17 +43,17 @@
 	return strings.Compare(string(a.inst.ID), string(b.inst.ID))
 }
 
-func (y *yard) add(it *item) {
+func (y *dueQueue) add(it *item) {
 	at, ok := y.find(it.inst)
 	if !ok {
-		y.racks = slices.Insert(y.racks, at, &shelf{zone: it.inst.Zone, rack: it.inst.Rack})
+		y.racks = slices.Insert(y.racks, at, &rackQueue{zone: it.inst.Zone, rack: it.inst.Rack})
 	}
 	s := y.racks[at]
 	pos, _ := slices.BinarySearchFunc(s.items, it, byDeadline)
 	s.items = slices.Insert(s.items, pos, it)
 }
 
-func (y *yard) remove(it *item) {
+func (y *dueQueue) remove(it *item) {
 	at, ok := y.find(it.inst)
 	if !ok {
 		return
@@ -61,9 +65,8 @@
 	}
 }
 
-// first returns the item with the earliest deadline; nil when the yard is
-// empty.
-func (y *yard) first() *item {
+// first returns the item with the earliest deadline; nil if the queue is empty.
+func (y *dueQueue) first() *item {
 	var best *item
 	for _, s := range y.racks {
 		if best == nil || byDeadline(s.items[0], best) < 0 {
@@ -73,11 +76,12 @@
 	return best
 }
 
-// order returns the shelves by their earliest deadline, then by place, so that
-// the racks and zones of one deadline are worked off one after the other.
-func (y *yard) order() []*shelf {
+// racksByDeadline returns the racks sorted by their earliest deadline, then by
+// zone and rack, so that racks with the same deadline are processed one after
+// the other, zone by zone.
+func (y *dueQueue) racksByDeadline() []*rackQueue {
 	out := slices.Clone(y.racks)
-	slices.SortStableFunc(out, func(a, b *shelf) int {
+	slices.SortStableFunc(out, func(a, b *rackQueue) int {
 		switch x, y := a.items[0].deadline, b.items[0].deadline; {
 		case x < y:
 			return -1
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -5,33 +5,33 @@
 	"camphorridge/core/state/model"
 )
 
-// Settings are the figures of the maintenance of one fleet.
+// Settings configure the maintenance of one fleet.
 type Settings struct {
-	// MaintenanceMillis is the longest time that one maintenance keeps an instance
-	// out of service, from its release to its return; at least 1.
+	// MaintenanceMillis is the longest time for which one maintenance takes an
+	// instance out of service, from its release to its return; at least 1.
 	MaintenanceMillis clock.Millis
 	// CanaryMillis is how long the first instance of a wave is observed after
 	// its return before others follow.
 	CanaryMillis clock.Millis
-	// StuckMillis is the time after which an instance in maintenance that was
+	// StuckMillis is the time after which an instance that is in maintenance and
 	// not verified counts as failed.
 	StuckMillis clock.Millis
-	// ObservationMillis is how long an instance counts as touched by the periodic
-	// maintenance.
+	// ObservationMillis is how long after its maintenance an instance counts as
+	// touched by the periodic wave.
 	ObservationMillis clock.Millis
-	// PeriodMillis is the time within which every instance is maintained
-	// once; 0 turns the periodic goal off.
+	// PeriodMillis is the time within which every instance is maintained once;
+	// 0 disables periodic maintenance.
 	PeriodMillis clock.Millis
-	// MarginMillis is how long before the end of the period an instance is
-	// taken up; less than PeriodMillis.
+	// MarginMillis is how long before the end of its period an instance becomes
+	// due; less than PeriodMillis.
 	MarginMillis clock.Millis
-	// PeriodicStart is the time from which the periodic goal applies.
+	// PeriodicStart is the time from which periodic maintenance applies.
 	PeriodicStart clock.Millis
-	// PressureRetryMillis is the time after which a pool that waits for the pressure
-	// to fall is looked at again.
+	// PressureRetryMillis is the time after which a pool that waits for lower
+	// pressure is evaluated again.
 	PressureRetryMillis clock.Millis
-	// FullScan turns the index off: every pass looks at the whole fleet. It is
-	// there to measure what the index saves.
+	// FullScan disables the index: every pass evaluates the whole fleet. It
+	// exists to measure what the index saves.
 	FullScan bool
 }
 
@@ -43,23 +43,25 @@
 	}
 }
 
-// Observation is what entry processes and announcements say about an instance.
+// Observation is the state of an instance as reported by entry processes and by
+// its own announcements.
 type Observation struct {
 	// Drained: every entry process of the zone confirmed the release.
 	Drained bool
-	// Restarted: announced with a higher incarnation since it was handed over.
+	// Restarted: the instance has announced a higher incarnation since it was
+	// handed over to the platform.
 	Restarted bool
 	// Verified: its health was confirmed after the restart.
 	Verified bool
-	// LostSince is the time of an unplanned loss that lasts; 0 for none.
+	// LostSince is the start of an unplanned loss that has not ended; 0 for none.
 	LostSince clock.Millis
-	// Calls and Failures count the latest requests that it ran.
+	// Calls and Failures count the latest requests that the instance ran.
 	Calls    int64
 	Failures int64
 }
 
-// Outage is a time that an instance spent out of service, for planned and
-// unplanned reasons alike. To is 0 while it lasts.
+// Outage is a period during which an instance was out of service, planned or
+// unplanned. To is 0 while the outage has not ended.
 type Outage struct {
 	Instance model.InstanceID
 	Pool     model.Pool
@@ -67,50 +69,50 @@
 	To       clock.Millis
 }
 
-// Input is the whole state that a decision depends on.
+// Input is the whole state that a plan depends on.
 type Input struct {
 	Instances    []model.Instance
 	Observations map[model.InstanceID]Observation
 	Contracts    []model.Contract
 	Declarations []model.Maintenance
 	Outages      []Outage
-	// Pressure is what each customer's callers feel, in permille of their
-	// requests that were refused or late.
+	// Pressure is the permille of each customer's requests that were refused or
+	// late.
 	Pressure map[model.Customer]int
 }
 
-// StepKind tells the steps of a maintenance apart.
+// StepKind is the kind of a maintenance step.
 type StepKind string
 
-// The steps.
+// The kinds of step.
 const (
-	// StepRelease: serving to releasing; no new requests.
+	// StepRelease moves a serving instance to releasing: it gets no new requests.
 	StepRelease StepKind = "release"
-	// StepHandOver: releasing and drained to maintenance; the platform may
-	// reboot the instance.
+	// StepHandOver moves a releasing instance that is drained to maintenance: the
+	// platform may reboot it.
 	StepHandOver StepKind = "hand-over"
-	// StepVerify: the restarted instance's health is to be probed.
+	// StepVerify probes the health of the restarted instance.
 	StepVerify StepKind = "verify"
-	// StepReturn: back to serving.
+	// StepReturn moves the instance back to serving.
 	StepReturn StepKind = "return"
 )
 
-// Step is an action to take now.
+// Step is an action to carry out now.
 type Step struct {
 	Kind     StepKind
 	Instance model.InstanceID
 	Pool     model.Pool
 	Wave     string
-	// Done is set on a return after a finished maintenance; a return without
-	// it takes back a release that was not handed over.
+	// Done is set on a return after a finished maintenance. A return without it
+	// takes back the release of an instance that was not handed over.
 	Done   bool
 	Reason string
 }
 
-// LimitName names what made a pool wait.
+// LimitName names the limit that makes a pool wait.
 type LimitName string
 
-// The limits.
+// The limits that can make a pool wait.
 const (
 	LimitWaveStopped    LimitName = "wave-stopped"
 	LimitCanary         LimitName = "canary"
@@ -122,23 +124,23 @@
 	LimitPlatform       LimitName = "platform"
 )
 
-// Wait says why due work of a pool does not start.
+// Wait describes why due maintenance of a pool does not start.
 type Wait struct {
 	Pool     model.Pool
 	Wave     string
 	Instance model.InstanceID
-	// Customer is empty for limits that are not a customer's.
+	// Customer is empty for limits that do not belong to a customer.
 	Customer model.Customer
 	Limit    LimitName
 	Current  int64
 	Max      int64
-	// Unblock says what would end the wait; Until is when the passing of time
-	// alone would, or 0.
+	// Unblock describes what ends the wait. Until is the time at which the pool
+	// can be unblocked or evaluated again without any other change; 0 for none.
 	Unblock string
 	Until   clock.Millis
 }
 
-// Stop says that a wave starts nothing more, and why.
+// Stop describes why a wave starts no more maintenance.
 type Stop struct {
 	Wave    string
 	Touched Tally
@@ -146,27 +148,28 @@
 	Reason  string
 }
 
-// UnmetDeadline says that a deadline cannot be met by the limits as they stand.
+// UnmetDeadline is a deadline that cannot be met under the present limits.
 type UnmetDeadline struct {
 	Wave     string
 	Customer model.Customer
-	// Pool is set for the periodic wave, which is checked by pool.
+	// Pool is set for the periodic wave only, which is checked by pool.
 	Pool model.Pool
 	// Remaining is the number of the customer's instances still to be
 	// maintained.
 	Remaining int
 	Deadline  clock.Millis
-	// Estimate is when the last would be done; 0 for never.
+	// Estimate is the time at which the last instance will be done; 0 for never.
 	Estimate clock.Millis
 	Reason   string
 }
 
-// Plan is the outcome of a pass.
+// Plan is the result of a planning pass.
 type Plan struct {
 	Steps          []Step
 	Waits          []Wait
 	Stops          []Stop
 	UnmetDeadlines []UnmetDeadline
-	// NextPassAt is when the next pass is needed if nothing changes; 0 for never.
+	// NextPassAt is the time at which the next pass is needed if no input changes;
+	// 0 for never.
 	NextPassAt clock.Millis
 }
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -1,36 +1,40 @@
 package maint
 
-// PacerInput is what a pacer decides by, for one customer.
+// PacerInput is the input of a pacer for one customer.
 type PacerInput struct {
-	// PressurePermille is felt by the customer's callers, in permille.
+	// PressurePermille is the share of the customer's requests that were refused
+	// or late.
 	PressurePermille int
-	// MaxUnavailable is the customer's max-unavailable.
+	// MaxUnavailable is the limit of the customer's contract.
 	MaxUnavailable int
-	// NeededForDeadline is the number at once that would just meet the deadline.
+	// NeededForDeadline is the number of concurrent maintenances that just meets
+	// the deadline.
 	NeededForDeadline int
 }
 
-// Pacer is the policy that says how many of a customer's instances may be in
-// maintenance at once, given what its callers feel.
+// Pacer decides how many of a customer's instances may be in maintenance at
+// once, given the pressure on its callers.
 type Pacer interface {
 	MaxConcurrent(PacerInput) int
 }
 
-// FullSpeedPacer is the baseline: as many as the contract allows, whatever callers
-// feel.
+// FullSpeedPacer is the baseline: it allows as many as the contract, regardless
+// of the pressure.
 type FullSpeedPacer struct{}
 
-// MaxConcurrent returns the contract's bound.
+// MaxConcurrent returns the limit of the contract.
 func (FullSpeedPacer) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
 
-// ProportionalPacer slows down in proportion to the pressure and halts at Halt.
+// ProportionalPacer slows down in proportion to the pressure and stops at
+// HaltPermille.
 type ProportionalPacer struct {
-	// HaltPermille is the pressure in permille at which nothing more starts; at
-	// least 1.
+	// HaltPermille is the pressure at which no more maintenance starts; at least
+	// 1.
 	HaltPermille int
 }
 
-// MaxConcurrent is at least 1 below Halt, so that a wave under light pressure goes on.
+// MaxConcurrent returns at least 1 below HaltPermille, so that a wave continues
+// under light pressure.
 func (p ProportionalPacer) MaxConcurrent(f PacerInput) int {
 	if f.PressurePermille >= p.HaltPermille {
 		return 0
@@ -38,16 +42,18 @@
 	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.HaltPermille-f.PressurePermille)/p.HaltPermille))
 }
 
-// DeadlinePacer slows down like Proportional but never below what the deadline
-// needs, up to Halt.
+// DeadlinePacer slows down like ProportionalPacer, but below HaltPermille it
+// always allows as many as the deadline needs.
 type DeadlinePacer struct {
-	// SlowPermille is the pressure in permille at which only the deadline's need
-	// remains; Halt, at least SlowPermille, is where nothing more starts.
+	// SlowPermille is the pressure from which only as many are allowed as the
+	// deadline needs. HaltPermille, at least SlowPermille, is the pressure at
+	// which no more maintenance starts.
 	SlowPermille int
 	HaltPermille int
 }
 
-// MaxConcurrent returns the larger of both, within the contract's bound.
+// MaxConcurrent returns the larger of the proportional limit and the number that
+// the deadline needs, within the limit of the contract.
 func (p DeadlinePacer) MaxConcurrent(f PacerInput) int {
 	if f.PressurePermille >= p.HaltPermille {
 		return 0
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -9,59 +9,59 @@
 	"camphorridge/core/state/model"
 )
 
-// Pass returns the next steps. It changes nothing but the index: a step that
-// is not carried out is returned again by the next pass.
+// Pass runs one planning pass and returns the next steps. It changes only the
+// index: if a step is not carried out, the next pass returns it again.
 func (b *Planner[P, J]) Pass(now clock.Millis) Plan {
 	var plan Plan
 	b.prune(now)
-	b.fire(now)
-	b.judgeWaves(&plan)
-	b.passFlight(now, &plan)
-	b.passReady(now, &plan)
-	b.passDeadlines(now, &plan)
+	b.processChanges(now)
+	b.evaluateWaves(&plan)
+	b.planInProgress(now, &plan)
+	b.planReleases(now, &plan)
+	b.checkDeadlines(now, &plan)
 	for _, p := range sortedKeys(b.waits) {
 		plan.Waits = append(plan.Waits, b.waits[p])
 	}
-	if b.due.Len() > 0 {
-		plan.NextPassAt = b.due.Top().at
+	if b.timers.Len() > 0 {
+		plan.NextPassAt = b.timers.Top().at
 	}
 	return plan
 }
 
-func (b *Planner[P, J]) judgeWaves(plan *Plan) {
-	for _, name := range b.names {
+func (b *Planner[P, J]) evaluateWaves(plan *Plan) {
+	for _, name := range b.waveNames {
 		w := b.waves[name]
 		reason := ""
 		if w.touched.Instances > 0 {
-			reason = b.judge.StopReason(w.touched, w.peers)
+			reason = b.stopPolicy.StopReason(w.touched, w.peers)
 		}
-		if (reason == "") != (w.stop == "") {
-			b.touchWave(w)
+		if (reason == "") != (w.stopReason == "") {
+			b.markWave(w)
 		}
-		w.stop = reason
+		w.stopReason = reason
 		if reason != "" {
 			plan.Stops = append(plan.Stops, Stop{Wave: name, Touched: w.touched, Peers: w.peers, Reason: reason})
 		}
 	}
 }
 
-// passFlight takes the steps of the instances whose maintenance has begun.
-func (b *Planner[P, J]) passFlight(now clock.Millis, plan *Plan) {
+// planInProgress adds the steps of the instances whose maintenance has started.
+func (b *Planner[P, J]) planInProgress(now clock.Millis, plan *Plan) {
 	back := map[model.Customer]int{}
-	for _, id := range sortedKeys(b.flight) {
-		it := b.flight[id]
+	for _, id := range sortedKeys(b.inProgress) {
+		it := b.inProgress[id]
 		step := Step{Instance: id, Pool: it.inst.Pool, Wave: it.wave.decl.Name}
 		switch {
 		case it.inst.Phase == model.PhaseReleasing:
-			step.Kind, step.Reason = b.releasing(it, now, back)
-		case it.seen.Verified && it.seen.Restarted:
+			step.Kind, step.Reason = b.planReleasing(it, now, back)
+		case it.observation.Verified && it.observation.Restarted:
 			step.Kind, step.Done, step.Reason = StepReturn, true, "restarted and verified"
-		case it.seen.Restarted:
+		case it.observation.Restarted:
 			step.Kind, step.Reason = StepVerify, "announced with a higher incarnation"
-		case it.inst.PhaseSince+b.set.StuckMillis <= now:
+		case it.inst.PhaseSince+b.settings.StuckMillis <= now:
 			plan.Waits = append(plan.Waits, Wait{
 				Pool: it.inst.Pool, Wave: it.wave.decl.Name, Instance: id, Limit: LimitPlatform,
-				Current: int64(now - it.inst.PhaseSince), Max: int64(b.set.StuckMillis),
+				Current: int64(now - it.inst.PhaseSince), Max: int64(b.settings.StuckMillis),
 				Unblock: "the instance announces itself with a higher incarnation, or an operator declares it lost",
 			})
 		}
@@ -71,38 +71,42 @@
 	}
 }
 
-// releasing returns the step of an instance that is not handed over yet: back
-// to service when an unplanned loss has used up what its release counted on.
-func (b *Planner[P, J]) releasing(it *item, now clock.Millis, back map[model.Customer]int) (StepKind, string) {
-	reason := b.takeBack(it, now, back)
+// planReleasing returns the step of a releasing instance: back to service if its
+// release is no longer allowed, for example after an unplanned loss, or over to
+// the platform once it is drained. back counts the releases taken back in this
+// pass, by customer. The kind is empty while the instance has to wait.
+func (b *Planner[P, J]) planReleasing(it *item, now clock.Millis, back map[model.Customer]int) (StepKind, string) {
+	reason := b.takeBackReason(it, now, back)
 	if reason != "" {
-		for _, c := range b.holders[it.inst.Pool] {
+		for _, c := range b.customersByPool[it.inst.Pool] {
 			back[c]++
 		}
 		return StepReturn, reason
 	}
-	if !it.seen.Drained {
+	if !it.observation.Drained {
 		return "", ""
 	}
 	return StepHandOver, "every entry process of zone " + string(it.inst.Zone) + " confirmed the release"
 }
 
-func (b *Planner[P, J]) takeBack(it *item, now clock.Millis, back map[model.Customer]int) string {
+// takeBackReason returns the reason why a release must be taken back; empty if
+// it may continue.
+func (b *Planner[P, J]) takeBackReason(it *item, now clock.Millis, back map[model.Customer]int) string {
 	if b.waves[it.wave.decl.Name] == nil {
 		return "the declaration was cancelled"
 	}
-	if it.wave.stop != "" {
-		return "the wave stopped: " + it.wave.stop
+	if it.wave.stopReason != "" {
+		return "the wave stopped: " + it.wave.stopReason
 	}
-	for _, c := range b.holders[it.inst.Pool] {
-		a := b.accounts[c]
-		if n := a.count - back[c]; n > a.contract.MaxUnavailable {
+	for _, c := range b.customersByPool[it.inst.Pool] {
+		a := b.customers[c]
+		if n := a.total - back[c]; n > a.contract.MaxUnavailable {
 			return fmt.Sprintf("%d instances of %s are out of service; the contract allows %d", n, c, a.contract.MaxUnavailable)
 		}
-		if a.lostElsewhere(a.domainOf(it.inst)) {
+		if a.lostInOtherDomain(a.domainOf(it.inst)) {
 			return fmt.Sprintf("%s lost an instance in another %s", c, a.contract.Covers)
 		}
-		used := a.used(now, b.set.MaintenanceMillis, b.outages) - clock.Millis(back[c])*b.set.MaintenanceMillis
+		used := a.windowUsed(now, b.settings.MaintenanceMillis, b.outages) - clock.Millis(back[c])*b.settings.MaintenanceMillis
 		if a.contract.WindowMillis > 0 && used > a.contract.BudgetMillis {
 			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, a.contract.BudgetMillis)
 		}
@@ -110,17 +114,17 @@
 	return ""
 }
 
-func (b *Planner[P, J]) outages(p model.Pool) []Outage { return b.closed[p] }
+func (b *Planner[P, J]) outages(p model.Pool) []Outage { return b.finishedOutages[p] }
 
-// passReady starts due work in the pools where something changed. Pools come
-// in the order of their earliest deadline.
-func (b *Planner[P, J]) passReady(now clock.Millis, plan *Plan) {
-	pools := sortedKeys(b.dirty)
-	clear(b.dirty)
+// planReleases adds releases of due instances in the pools that changed. Pools
+// are processed in the order of their earliest deadline.
+func (b *Planner[P, J]) planReleases(now clock.Millis, plan *Plan) {
+	pools := sortedKeys(b.changedPools)
+	clear(b.changedPools)
 	first := map[model.Pool]clock.Millis{}
 	pools = slices.DeleteFunc(pools, func(p model.Pool) bool {
 		delete(b.waits, p)
-		y := b.ready[p]
+		y := b.dueByPool[p]
 		if y == nil || len(y.racks) == 0 {
 			return true
 		}
@@ -132,50 +136,51 @@
 	var order []*item
 	for _, p := range pools {
 		for {
-			it, wait := b.pick(p, now, taken)
+			it, wait := b.nextRelease(p, now, taken)
 			if it == nil {
-				b.hold(p, wait)
+				b.recordWait(p, wait)
 				break
 			}
 			taken[it] = true
 			order = append(order, it)
 			plan.Steps = append(plan.Steps, Step{
-				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: b.why(it),
+				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: b.releaseReason(it),
 			})
 			b.reserve(it, 1)
 		}
 	}
-	// The reservations held only for the limits of this pass: what is carried
-	// out comes back as a change of the instance's phase.
+	// The tentative counts apply to this pass only: a release that is carried
+	// out is counted when the instance's phase changes.
 	for _, it := range order {
 		b.reserve(it, -1)
-		b.dirty[it.inst.Pool] = true
+		b.changedPools[it.inst.Pool] = true
 	}
 }
 
-func (b *Planner[P, J]) hold(p model.Pool, w *Wait) {
+func (b *Planner[P, J]) recordWait(p model.Pool, w *Wait) {
 	if w == nil {
 		return
 	}
 	b.waits[p] = *w
 	if w.Until > 0 {
-		b.wakeAt("pool "+string(p), due{at: w.Until, pool: string(p)})
+		b.setTimer("pool "+string(p), timer{at: w.Until, pool: string(p)})
 	}
 }
 
-// reserve adds or takes back a release in the counts of the current pass.
+// reserve adds n tentative releases of the item, 1 or -1, to the counts of its
+// wave and customers.
 func (b *Planner[P, J]) reserve(it *item, n int) {
-	it.wave.tentative += n
-	for _, c := range b.holders[it.inst.Pool] {
-		a := b.accounts[c]
-		a.shift(a.domainOf(it.inst), causeMaintenance, n)
-		a.tentative += n
+	it.wave.tentativeReleases += n
+	for _, c := range b.customersByPool[it.inst.Pool] {
+		a := b.customers[c]
+		a.adjust(a.domainOf(it.inst), causeMaintenance, n)
+		a.tentativeReleases += n
 	}
 }
 
-func (b *Planner[P, J]) why(it *item) string {
+func (b *Planner[P, J]) releaseReason(it *item) string {
 	w := it.wave
-	if w.observed == 0 {
+	if w.observedCount == 0 {
 		return "canary of " + w.decl.Name
 	}
 	return fmt.Sprintf("%s, due at %d; %d of its instances are left", w.decl.Name, it.deadline, sum(w.byPool))
--- a/core/state/maint/due.go
+++ b/core/state/maint/timer.go
@@ -2,17 +2,17 @@
 
 import "camphorridge/core/state/clock"
 
-// due is a time at which an instance, a pool or a wave has to be looked at
+// timer is a time at which an instance, a pool or a wave must be evaluated
 // again. Exactly one of the names is set.
-type due struct {
+type timer struct {
 	at       clock.Millis
 	instance string
 	pool     string
 	wave     string
 }
 
-// Before orders by time, then by name.
-func (d due) Before(e due) bool {
+// Before reports whether d sorts before e: by time, then by name.
+func (d timer) Before(e timer) bool {
 	if d.at != e.at {
 		return d.at < e.at
 	}
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -11,45 +11,51 @@
 // period.
 const Periodic = "periodic"
 
-// wave is a declaration, or the periodic goal, with its progress.
+// wave is the progress of a maintenance declaration or of the periodic goal.
 type wave struct {
 	decl model.Maintenance
-	// pending counts the instances still to be maintained; those in flight
-	// are included.
-	pending map[cell]int
-	// byPool sums pending up by pool.
-	byPool  map[model.Pool]int
-	flight  int
+	// pending counts the instances still to be maintained, including those in
+	// progress.
+	pending map[group]int
+	// byPool is pending summed up by pool.
+	byPool map[model.Pool]int
+	// inProgress counts the instances whose maintenance has started.
+	inProgress int
+	// touched sums up the instances that the wave maintained or that are stuck
+	// in its maintenance, peers all others.
 	touched Tally
 	peers   Tally
-	// observed counts the instances that were maintained and observed for the
-	// canary time; the first of them ends the canary.
-	observed int
-	// canary is when the first instance came back, while observed is 0.
-	canary clock.Millis
-	// stop is the reason why nothing more starts; empty while the wave runs.
-	stop string
-	// late is the last outcome of the deadline check.
-	late []UnmetDeadline
-	// tentative is the number of releases decided in the current pass.
-	tentative int
+	// observedCount is the number of instances that were maintained and then
+	// observed for the canary time. The first one ends the canary phase.
+	observedCount int
+	// canaryReturnedAt is the time at which the first instance returned. It is
+	// meaningful while observedCount is 0.
+	canaryReturnedAt clock.Millis
+	// stopReason is the reason why no more maintenance starts; empty while the
+	// wave runs.
+	stopReason string
+	// unmet is the result of the last deadline check.
+	unmet []UnmetDeadline
+	// tentativeReleases is the number of releases decided in the current pass.
+	tentativeReleases int
 }
 
-// cell is the finest group that limits tell apart.
-type cell struct {
+// group identifies the instances of one pool and rack, which the limits other
+// than those on single instances treat alike.
+type group struct {
 	pool model.Pool
 	zone model.Zone
 	rack model.Rack
 }
 
-func cellOf(i model.Instance) cell { return cell{pool: i.Pool, zone: i.Zone, rack: i.Rack} }
+func groupOf(i model.Instance) group { return group{pool: i.Pool, zone: i.Zone, rack: i.Rack} }
 
 func newWave(m model.Maintenance) *wave {
-	return &wave{decl: m, pending: map[cell]int{}, byPool: map[model.Pool]int{}}
+	return &wave{decl: m, pending: map[group]int{}, byPool: map[model.Pool]int{}}
 }
 
 func (w *wave) count(i model.Instance, n int) {
-	c := cellOf(i)
+	c := groupOf(i)
 	w.pending[c] += n
 	if w.pending[c] == 0 {
 		delete(w.pending, c)
@@ -62,9 +68,10 @@
 
 func (w *wave) periodic() bool { return w.decl.Name == Periodic }
 
-// wants reports whether the wave still has to maintain the instance, and by
-// when. The periodic wave wants an instance from its margin on.
-func (w *wave) wants(s Settings, i model.Instance, now clock.Millis) (deadline clock.Millis, ok bool) {
+// needs reports whether the wave still has to maintain the instance, and by
+// when. The periodic wave needs an instance from MarginMillis before the end of
+// its period.
+func (w *wave) needs(s Settings, i model.Instance, now clock.Millis) (deadline clock.Millis, ok bool) {
 	if i.Phase == model.PhaseRetired || w.decl.DeclaredAt > now {
 		return 0, false
 	}
@@ -75,9 +82,9 @@
 	return w.decl.Deadline, i.MaintainedAt < w.decl.DeclaredAt && w.decl.Selector.Matches(i)
 }
 
-// touches reports whether the wave maintained the instance: since its
-// declaration, or within the observed time for the periodic wave.
-func (w *wave) touches(s Settings, i model.Instance, now clock.Millis) bool {
+// maintained reports whether the wave maintained the instance: since the
+// declaration, and for the periodic wave within the last ObservationMillis.
+func (w *wave) maintained(s Settings, i model.Instance, now clock.Millis) bool {
 	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.DeclaredAt {
 		return false
 	}
@@ -87,9 +94,10 @@
 	return w.decl.Selector.Matches(i)
 }
 
-// periodEnd is the time by which the periodic goal wants the instance done.
-// Instances that were never maintained are spread evenly by a hash of their
-// name, so that the first period does not end for all of them at once.
+// periodEnd returns the time by which the periodic goal requires the next
+// maintenance of the instance. Instances that were not maintained since
+// PeriodicStart are spread evenly by a hash of their ID, so that their first
+// period does not end at the same time.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
 	if i.MaintainedAt >= s.PeriodicStart && i.MaintainedAt > 0 {
 		return i.MaintainedAt + s.PeriodMillis
@@ -100,8 +108,8 @@
 	return s.PeriodicStart + s.MarginMillis + clock.Millis(h.Sum64()%spread)
 }
 
-// inMaintenance reports whether a maintenance of the instance has begun. A
-// release with another pool as target is a move.
+// inMaintenance reports whether maintenance of the instance has started. A
+// release with another pool as its target is a move, not maintenance.
 func inMaintenance(i model.Instance) bool {
 	return i.Phase == model.PhaseMaintenance || (i.Phase == model.PhaseReleasing && i.Target == i.Pool)
 }
--- a/core/state/member/error.go
+++ b/core/state/member/error.go
@@ -35,6 +35,6 @@
 // Unwrap returns the reason.
 func (e *Error) Unwrap() error { return e.Err }
 
-func refuse(k Kind, format string, args ...any) *Error {
+func refusal(k Kind, format string, args ...any) *Error {
 	return &Error{Op: "announce", Kind: k, Err: fmt.Errorf(format, args...)}
 }
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -65,8 +65,8 @@
 	// first and last are the ends of the list of records by Seq.
 	first, last *Record
 	seq         uint64
-	// seen is the latest time that the roster was told.
-	seen clock.Millis
+	// lastTick is the latest time that the roster was told.
+	lastTick clock.Millis
 	// Pauses is the number of pauses of this process that were noticed.
 	Pauses int
 }
@@ -83,7 +83,7 @@
 		cfg:       cfg,
 		records:   map[model.InstanceID]*Record{},
 		byAddress: map[string]model.InstanceID{},
-		seen:      now,
+		lastTick:  now,
 	}
 }
 
@@ -94,8 +94,8 @@
 // process itself was stopped and could not hear anybody: every lease that held
 // before the gap is prolonged by one lease. It reports whether that was so.
 func (t *Roster) Tick(now clock.Millis) (paused bool) {
-	before := t.seen
-	t.seen = max(t.seen, now)
+	before := t.lastTick
+	t.lastTick = max(t.lastTick, now)
 	if now-before <= t.cfg.MaxTickGap {
 		return false
 	}
@@ -148,11 +148,11 @@
 		return e
 	}
 	if h.Age < 0 || h.Age >= t.cfg.Lease {
-		return refuse(KindStale, "the announcement was %d ms under way", h.Age)
+		return refusal(KindStale, "the announcement was %d ms under way", h.Age)
 	}
 	if other, ok := t.byAddress[a.Address]; ok && other != a.Instance {
 		if o := t.records[other]; o != nil && o.Live(now) && o.Announcement.State == model.AnnounceServing {
-			return refuse(KindAddress, "address %s is in use by instance %s", a.Address, other)
+			return refusal(KindAddress, "address %s is in use by instance %s", a.Address, other)
 		}
 	}
 	r := t.records[a.Instance]
@@ -162,15 +162,15 @@
 	held := r.Announcement
 	switch {
 	case a.Incarnation < held.Incarnation:
-		return refuse(KindIncarnation, "incarnation %d of %s is below %d", a.Incarnation, a.Instance, held.Incarnation)
+		return refusal(KindIncarnation, "incarnation %d of %s is below %d", a.Incarnation, a.Instance, held.Incarnation)
 	case a.Incarnation > held.Incarnation:
 		return nil
 	case a.Pool != held.Pool:
-		return refuse(KindPool, "%s announced pool %s and %s under incarnation %d", a.Instance, held.Pool, a.Pool, a.Incarnation)
+		return refusal(KindPool, "%s announced pool %s and %s under incarnation %d", a.Instance, held.Pool, a.Pool, a.Incarnation)
 	case a.Address != held.Address:
-		return refuse(KindAddress, "%s announced address %s and %s under incarnation %d", a.Instance, held.Address, a.Address, a.Incarnation)
+		return refusal(KindAddress, "%s announced address %s and %s under incarnation %d", a.Instance, held.Address, a.Address, a.Incarnation)
 	case held.State == model.AnnounceLeaving && a.State != model.AnnounceLeaving:
-		return refuse(KindStale, "%s is leaving under incarnation %d", a.Instance, a.Incarnation)
+		return refusal(KindStale, "%s is leaving under incarnation %d", a.Instance, a.Incarnation)
 	}
 	return nil
 }
@@ -178,15 +178,15 @@
 func validate(a model.Announcement, zone model.Zone) *Error {
 	switch {
 	case a.Instance == "" || a.Pool == "" || a.Address == "" || a.Zone == "":
-		return refuse(KindInvalid, "instance, zone, pool and address are needed")
+		return refusal(KindInvalid, "instance, zone, pool and address are needed")
 	case a.Slots < 1 || a.Connections < 1:
-		return refuse(KindInvalid, "slots and connections must be at least 1")
+		return refusal(KindInvalid, "slots and connections must be at least 1")
 	case a.Incarnation == 0:
-		return refuse(KindInvalid, "the incarnation must be at least 1")
+		return refusal(KindInvalid, "the incarnation must be at least 1")
 	case a.State != model.AnnounceServing && a.State != model.AnnounceLeaving:
-		return refuse(KindInvalid, "unknown state %d", a.State)
+		return refusal(KindInvalid, "unknown state %d", a.State)
 	case a.Zone != zone:
-		return refuse(KindZone, "instance %s is in zone %s, not %s", a.Instance, a.Zone, zone)
+		return refusal(KindZone, "instance %s is in zone %s, not %s", a.Instance, a.Zone, zone)
 	}
 	return nil
 }
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -20,20 +20,20 @@
 	// An ejection lasts ejectBase, doubled with each in a row, at most
 	// ejectMost.
 	ejectBase = clock.Second
-	ejectMost = 30 * clock.Second
+	ejectMax  = 30 * clock.Second
 	// forgiveAfter is the time without an ejection after which the next one is
 	// short again.
 	forgiveAfter = 60 * clock.Second
-	// returnScore is the score after an ejection: one failed connection, or
+	// scoreAfterEjection is the score after an ejection: one failed connection, or
 	// three failures in a row, eject again.
-	returnScore = 0.25
+	scoreAfterEjection = 0.25
 )
 
-// learn updates the score of an upstream and ejects it when it fails against
+// recordOutcome updates the score of an upstream and ejects it when it fails against
 // its peers.
-func (r *Router[P]) learn(now clock.Millis, u *Upstream, o Outcome) bool {
+func (r *Router[P]) recordOutcome(now clock.Millis, u *Upstream, o Outcome) bool {
 	if u.ScoreResetPending && !u.Ejected(now) {
-		u.ScoreResetPending, u.Score = false, returnScore
+		u.ScoreResetPending, u.Score = false, scoreAfterEjection
 	}
 	switch o {
 	case OutcomeCancelled, OutcomeBusy:
@@ -58,7 +58,7 @@
 // eject takes an upstream out unless its peers fail as well or the floor
 // would be broken: at least half of a pool's upstreams stay in.
 func (r *Router[P]) eject(now clock.Millis, u *Upstream) bool {
-	g := r.pools[u.Pool]
+	g := r.upstreamsByPool[u.Pool]
 	in, peers := 0, 0.0
 	for _, m := range g.members {
 		if m == u {
@@ -75,21 +75,21 @@
 	if u.Score <= 2*peers/float64(len(g.members)-1)+peerMargin {
 		return false
 	}
-	d := min(ejectBase<<min(u.ConsecutiveEjections, 10), ejectMost)
+	d := min(ejectBase<<min(u.ConsecutiveEjections, 10), ejectMax)
 	u.ConsecutiveEjections++
 	u.EjectedUntil = now + d
 	u.RoutableSince = u.EjectedUntil
 	u.ScoreResetPending = true
-	if !slices.Contains(r.ejected, u) {
-		r.ejected = append(r.ejected, u)
+	if !slices.Contains(r.ejectionsToReport, u) {
+		r.ejectionsToReport = append(r.ejectionsToReport, u)
 	}
 	return true
 }
 
-// keepFloor ends ejections, the one that ends soonest first, until half of the
+// restoreMinimum ends ejections, the one that ends soonest first, until half of the
 // upstreams are in. It is called after an upstream left the pool, or came back
 // to it while its ejection lasts.
-func (g *group) keepFloor(now clock.Millis) {
+func (g *poolUpstreams) restoreMinimum(now clock.Millis) {
 	for {
 		in := 0
 		var next *Upstream
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -15,22 +15,22 @@
 	}
 	before, u.Lent = u.Lent, lent
 	r.unblock(u)
-	r.forget(u)
+	r.dropUnused(u)
 	return before
 }
 
 // PoolUpstreamSlots appends the upstreams of a pool that are not ejected, as a lender
 // sees them.
 func (r *Router[P]) PoolUpstreamSlots(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
-	g := r.pools[p]
+	g := r.upstreamsByPool[p]
 	if g == nil {
 		return buf
 	}
 	for i := range g.members {
 		// Each call starts with another upstream, so that loans spread.
-		u := g.members[(i+int(g.turn%uint64(len(g.members))))%len(g.members)]
+		u := g.members[(i+int(g.choices%uint64(len(g.members))))%len(g.members)]
 		if !u.Ejected(now) {
-			buf = append(buf, u.stock(waiting))
+			buf = append(buf, u.slots(waiting))
 		}
 	}
 	return buf
@@ -42,10 +42,10 @@
 	if u == nil || u.Pool == "" {
 		return lend.UpstreamSlots{}, false
 	}
-	return u.stock(waiting(u.Pool)), true
+	return u.slots(waiting(u.Pool)), true
 }
 
-func (u *Upstream) stock(waiting int) lend.UpstreamSlots {
+func (u *Upstream) slots(waiting int) lend.UpstreamSlots {
 	return lend.UpstreamSlots{
 		Loan: lend.Loan{
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -209,7 +209,7 @@
 			"time": func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "ms")) },
 			"": func(t *rapid.T) {
 				in := 0
-				members := r.pools["p"].members
+				members := r.upstreamsByPool["p"].members
 				for _, u := range members {
 					assert.Equal(t, u.Running, 0)
 					if !u.Ejected(now) {
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -26,10 +26,10 @@
 
 // Router chooses upstreams. It is not safe for use by several goroutines.
 type Router[P Policy] struct {
-	cfg       Settings
-	policy    P
-	upstreams map[model.InstanceID]*Upstream
-	pools     map[model.Pool]*group
+	cfg             Settings
+	policy          P
+	upstreams       map[model.InstanceID]*Upstream
+	upstreamsByPool map[model.Pool]*poolUpstreams
 	// blocked holds the upstreams with requests of earlier generations.
 	blocked map[model.InstanceID]*Upstream
 	// Version is the version of the table in force.
@@ -38,24 +38,24 @@
 	// earlier run of this process.
 	LoansUncertain bool
 	candidates     []Candidate
-	// ejected lists the upstreams whose return was not reported yet.
-	ejected []*Upstream
+	// ejectionsToReport lists the upstreams whose return was not reported yet.
+	ejectionsToReport []*Upstream
 }
 
-// group is the routable upstreams of one pool.
-type group struct {
+// poolUpstreams is the routable upstreams of one pool.
+type poolUpstreams struct {
 	members []*Upstream
-	turn    uint64
+	choices uint64
 }
 
 // New returns a router without upstreams.
 func New[P Policy](cfg Settings, policy P) *Router[P] {
 	return &Router[P]{
-		cfg:       cfg,
-		policy:    policy,
-		upstreams: map[model.InstanceID]*Upstream{},
-		pools:     map[model.Pool]*group{},
-		blocked:   map[model.InstanceID]*Upstream{},
+		cfg:             cfg,
+		policy:          policy,
+		upstreams:       map[model.InstanceID]*Upstream{},
+		upstreamsByPool: map[model.Pool]*poolUpstreams{},
+		blocked:         map[model.InstanceID]*Upstream{},
 	}
 }
 
@@ -69,7 +69,7 @@
 		}
 	}
 	u = r.upstream(i.ID)
-	if u.known && u.entry.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.entry.Pool) {
+	if u.inTable && u.instance.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.instance.Pool) {
 		// An entry that passed the releasing phase unseen was released at an
 		// unknown version after held.
 		released := held + 1
@@ -78,8 +78,8 @@
 		}
 		r.release(u, released)
 	}
-	u.entry, u.known = i, true
-	r.refresh(now, u)
+	u.instance, u.inTable = i, true
+	r.update(now, u)
 }
 
 // RemoveInstance forgets the table entry of an instance. held is the version of
@@ -89,23 +89,23 @@
 	if u == nil {
 		return
 	}
-	if u.known && u.entry.Phase == model.PhaseServing {
+	if u.inTable && u.instance.Phase == model.PhaseServing {
 		r.release(u, held+1)
 	}
-	u.entry, u.known = model.Instance{}, false
-	r.refresh(now, u)
+	u.instance, u.inTable = model.Instance{}, false
+	r.update(now, u)
 }
 
 // SetAnnouncement puts an announcement in force; live is false once its lease
 // lapsed.
 func (r *Router[P]) SetAnnouncement(now clock.Millis, a model.Announcement, live bool) {
 	u := r.upstream(a.Instance)
-	if a.Incarnation != u.member.Incarnation {
+	if a.Incarnation != u.announcement.Incarnation {
 		// A new process starts with a clean record and a slow start.
 		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
 	}
-	u.member, u.live = a, live
-	r.refresh(now, u)
+	u.announcement, u.leaseHeld = a, live
+	r.update(now, u)
 }
 
 func (r *Router[P]) upstream(id model.InstanceID) *Upstream {
@@ -129,68 +129,68 @@
 	}
 }
 
-// refresh derives the routable state of an upstream from its inputs.
-func (r *Router[P]) refresh(now clock.Millis, u *Upstream) {
+// update derives the routable state of an upstream from its inputs.
+func (r *Router[P]) update(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
 	if r.cfg.Lending {
 		u.Connections, u.Lendable, u.ConnectionsPerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
 	}
-	u.Address, u.Incarnation, u.HealthPath = u.member.Address, u.member.Incarnation, u.member.HealthPath
-	pool := u.routable(r.cfg.Zone)
+	u.Address, u.Incarnation, u.HealthPath = u.announcement.Address, u.announcement.Incarnation, u.announcement.HealthPath
+	pool := u.routablePool(r.cfg.Zone)
 	if pool != u.Pool {
-		r.leave(now, u)
+		r.removeFromPool(now, u)
 		u.Pool = pool
 		if pool != "" {
 			u.RoutableSince = now
-			g := r.group(pool)
+			g := r.poolOf(pool)
 			g.members = append(g.members, u)
-			g.keepFloor(now)
+			g.restoreMinimum(now)
 		}
 	}
-	r.forget(u)
+	r.dropUnused(u)
 }
 
 // shares returns this process's part of the slots and connections. Both the
 // table and the announcement bound them; 0 in the table means not known.
 func (r *Router[P]) shares(u *Upstream) (slots, conns int) {
-	slots, conns = u.member.Slots, u.member.Connections
-	if u.entry.Slots > 0 {
-		slots = min(slots, u.entry.Slots)
+	slots, conns = u.announcement.Slots, u.announcement.Connections
+	if u.instance.Slots > 0 {
+		slots = min(slots, u.instance.Slots)
 	}
-	if u.entry.Connections > 0 {
-		conns = min(conns, u.entry.Connections)
+	if u.instance.Connections > 0 {
+		conns = min(conns, u.instance.Connections)
 	}
 	conns = admit.Share(conns, r.cfg.Rank, r.cfg.Count)
 	return min(admit.Share(slots, r.cfg.Rank, r.cfg.Count), conns), conns
 }
 
-func (r *Router[P]) group(p model.Pool) *group {
-	g := r.pools[p]
+func (r *Router[P]) poolOf(p model.Pool) *poolUpstreams {
+	g := r.upstreamsByPool[p]
 	if g == nil {
-		g = &group{}
-		r.pools[p] = g
+		g = &poolUpstreams{}
+		r.upstreamsByPool[p] = g
 	}
 	return g
 }
 
-func (r *Router[P]) leave(now clock.Millis, u *Upstream) {
-	g := r.pools[u.Pool]
+func (r *Router[P]) removeFromPool(now clock.Millis, u *Upstream) {
+	g := r.upstreamsByPool[u.Pool]
 	if g == nil {
 		return
 	}
 	for i, m := range g.members {
 		if m == u {
 			g.members = append(g.members[:i], g.members[i+1:]...)
-			g.keepFloor(now)
+			g.restoreMinimum(now)
 			return
 		}
 	}
 }
 
-// forget drops an upstream that neither table nor roster names and that has
+// dropUnused drops an upstream that neither table nor roster names and that has
 // nothing in flight.
-func (r *Router[P]) forget(u *Upstream) {
-	if !u.known && !u.live && u.Running == 0 && u.Lent == 0 {
+func (r *Router[P]) dropUnused(u *Upstream) {
+	if !u.inTable && !u.leaseHeld && u.Running == 0 && u.Lent == 0 {
 		delete(r.upstreams, u.Instance)
 	}
 }
@@ -206,15 +206,15 @@
 // Reserve reserves a slot of an upstream of the pool; ok is false when none has
 // room. The upstream to avoid is taken only when no other has room.
 func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
-	g := r.pools[p]
+	g := r.upstreamsByPool[p]
 	if g == nil || len(g.members) == 0 {
 		return Reservation{}, false
 	}
 	r.candidates = r.candidates[:0]
 	var last *Upstream
-	warm := g.warm(now)
+	warm := g.hasWarmUpstream(now)
 	for _, u := range g.members {
-		n := r.room(now, u, warm)
+		n := r.capacity(now, u, warm)
 		if u.Running >= n {
 			continue
 		}
@@ -225,8 +225,8 @@
 		r.candidates = append(r.candidates, Candidate{Upstream: u, Capacity: n})
 	}
 	if len(r.candidates) > 0 {
-		last = r.candidates[r.policy.Choose(r.candidates, g.turn)].Upstream
-		g.turn++
+		last = r.candidates[r.policy.Choose(r.candidates, g.choices)].Upstream
+		g.choices++
 	}
 	if last == nil {
 		return Reservation{}, false
@@ -238,28 +238,28 @@
 
 // Restored appends the upstreams whose ejection has ended since the last call.
 func (r *Router[P]) Restored(now clock.Millis, buf []*Upstream) []*Upstream {
-	kept := r.ejected[:0]
-	for _, u := range r.ejected {
+	kept := r.ejectionsToReport[:0]
+	for _, u := range r.ejectionsToReport {
 		if u.Ejected(now) {
 			kept = append(kept, u)
 			continue
 		}
 		buf = append(buf, u)
 	}
-	clear(r.ejected[len(kept):])
-	r.ejected = kept
+	clear(r.ejectionsToReport[len(kept):])
+	r.ejectionsToReport = kept
 	return buf
 }
 
 // CancelReservation gives back a reservation that was not used.
 func (r *Router[P]) CancelReservation(h Reservation) {
 	h.Upstream.Running--
-	r.forget(h.Upstream)
+	r.dropUnused(h.Upstream)
 }
 
-// warm reports whether some upstream is past its slow start. Without one, as
+// hasWarmUpstream reports whether some upstream is past its slow start. Without one, as
 // after a start of this process, nobody is held back.
-func (g *group) warm(now clock.Millis) bool {
+func (g *poolUpstreams) hasWarmUpstream(now clock.Millis) bool {
 	for _, u := range g.members {
 		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
 			return true
@@ -268,8 +268,8 @@
 	return false
 }
 
-// room returns the number of requests an upstream may run now.
-func (r *Router[P]) room(now clock.Millis, u *Upstream, warm bool) int {
+// capacity returns the number of requests an upstream may run now.
+func (r *Router[P]) capacity(now clock.Millis, u *Upstream, warm bool) int {
 	if u.Ejected(now) {
 		return 0
 	}
@@ -286,13 +286,13 @@
 
 // Capacity returns the number of requests that the pool may run at once now.
 func (r *Router[P]) Capacity(now clock.Millis, p model.Pool) int {
-	g := r.pools[p]
+	g := r.upstreamsByPool[p]
 	if g == nil {
 		return 0
 	}
-	n, warm := 0, g.warm(now)
+	n, warm := 0, g.hasWarmUpstream(now)
 	for _, u := range g.members {
-		n += r.room(now, u, warm)
+		n += r.capacity(now, u, warm)
 	}
 	return n
 }
@@ -300,7 +300,7 @@
 // Routable returns the number of upstreams of the pool, ejected ones included,
 // and their slots in this process's share.
 func (r *Router[P]) Routable(p model.Pool) (upstreams, slots int) {
-	g := r.pools[p]
+	g := r.upstreamsByPool[p]
 	if g == nil {
 		return 0, 0
 	}
@@ -321,9 +321,9 @@
 		r.unblock(u)
 	}
 	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
-		ejected = r.learn(now, u, o)
+		ejected = r.recordOutcome(now, u, o)
 	}
-	r.forget(u)
+	r.dropUnused(u)
 	return ejected
 }
 
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -69,25 +69,25 @@
 	ScoreResetPending bool
 	// ConsecutiveEjections is the number of ejections in a row; it sets their length.
 	ConsecutiveEjections int
-	// entry, member and lapsed are the inputs of routable.
-	entry  model.Instance
-	known  bool
-	member model.Announcement
-	live   bool
+	// instance, member and lapsed are the inputs of routable.
+	instance     model.Instance
+	inTable      bool
+	announcement model.Announcement
+	leaseHeld    bool
 }
 
 // Ejected reports whether the upstream is ejected at a time.
 func (u *Upstream) Ejected(now clock.Millis) bool { return u.EjectedUntil > now }
 
-// routable returns the pool that the upstream may serve, or "". The table and
+// routablePool returns the pool that the upstream may serve, or "". The table and
 // the announcement must agree, and the lease must hold.
-func (u *Upstream) routable(zone model.Zone) model.Pool {
-	ok := u.known && u.live &&
-		u.entry.Phase == model.PhaseServing && u.entry.Zone == zone &&
-		u.member.State == model.AnnounceServing && u.member.Zone == zone &&
-		u.member.Pool == u.entry.Pool
+func (u *Upstream) routablePool(zone model.Zone) model.Pool {
+	ok := u.inTable && u.leaseHeld &&
+		u.instance.Phase == model.PhaseServing && u.instance.Zone == zone &&
+		u.announcement.State == model.AnnounceServing && u.announcement.Zone == zone &&
+		u.announcement.Pool == u.instance.Pool
 	if !ok {
 		return ""
 	}
-	return u.entry.Pool
+	return u.instance.Pool
 }
