--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -7,21 +7,21 @@
 	"camphorridge/core/state/model"
 )
 
-// Reason says why a request was refused or dropped.
+// Reason is the reason why a request was refused or dropped.
 type Reason int
 
-// The reasons for a refusal.
+// The reasons for a refusal; ReasonNone for an admitted request.
 const (
 	ReasonNone Reason = iota
 	// ReasonContract: the customer has no contract.
 	ReasonContract
 	// ReasonPool: the contract does not cover the pool.
 	ReasonPool
-	// ReasonShare: this process holds no share of the contract.
+	// ReasonShare: this process has no share of the contract's concurrency.
 	ReasonShare
 	// ReasonQueue: the customer's queue is full.
 	ReasonQueue
-	// ReasonDeadline: the request cannot end before its deadline.
+	// ReasonDeadline: the request is not expected to end before its deadline.
 	ReasonDeadline
 	// ReasonRetry: the customer's retry budget is spent.
 	ReasonRetry
@@ -32,7 +32,7 @@
 	"deadline cannot be met", "retry budget spent",
 }
 
-// String returns the text for refusals and logs.
+// String returns the text used in answers to callers and in logs.
 func (r Reason) String() string {
 	if r < 0 || int(r) >= len(reasonNames) {
 		return "unknown"
@@ -43,29 +43,29 @@
 const (
 	// runTimeWeight is the weight of a new sample in the typical run time.
 	runTimeWeight = 0.1
-	// likelyShare is the share of requests that end within the time that a request
-	// must have left when it starts, and likelyStep the step of its estimate as
-	// a part of the typical run time. With the mean in its place, half of the
-	// requests that start at the last moment ran in vain, and a few long
-	// requests kept all short ones from waiting.
+	// likelyShare is the quantile of the run times that a request must have left
+	// before its deadline when it starts. likelyStep is the step of the quantile
+	// estimate, as a part of the typical run time. With the mean instead of the
+	// quantile, half of the requests that started at the last moment missed their
+	// deadline, and a few long requests kept all short ones from being queued.
 	likelyShare = 0.85
 	likelyStep  = 0.05
-	// likelyFall is the part of the distance to the typical run time that replaces
-	// the step when it is larger.
+	// likelyFall is the smallest step down, as a part of the distance between the
+	// estimate and the typical run time.
 	likelyFall = 0.2
-	// waitMargin is the part by which a wait may be longer than estimated; the
+	// waitMargin is added to the estimated wait, as a part of it, because the
 	// estimate leaves out the time between two requests on a slot.
 	waitMargin = 0.125
 )
 
-// Controller decides who runs. R is the caller's reference for a waiting request.
-// It is not safe for use by several goroutines.
+// Controller decides which requests run. R is the caller's reference to a queued
+// request. A Controller is not safe for concurrent use.
 type Controller[P Picker, R any] struct {
 	picker      P
 	customers   map[model.Customer]*CustomerState[R]
 	pools       map[model.Pool]*poolQueues[R]
 	lastArrival uint64
-	// candidateInfos and lines are scratch space for one choice.
+	// candidateInfos and candidates are scratch space for one choice.
 	candidateInfos []*QueueInfo
 	candidates     []*Queue[R]
 }
@@ -74,38 +74,40 @@
 type CustomerState[R any] struct {
 	Name  model.Customer
 	Limit Limit
-	// Running is the number of requests in flight. It stays at or below
-	// Limit.InFlight except after a contract was reduced.
+	// Running is the number of requests in flight. It exceeds Limit.MaxInFlight
+	// only after the limit was reduced.
 	Running int
-	// Waiting is the number of queued requests over all pools.
+	// Waiting is the number of queued requests in all pools.
 	Waiting int
-	// RetryTokens is the number of retries that may be made now; at most
-	// retryBurst.
+	// RetryTokens is the number of retries allowed now; at most retryBurst.
 	RetryTokens float64
-	// removed says that the contract ended while requests were in flight. The
-	// account stays until they end, so that a new contract of the same name
-	// counts them.
+	// removed is set when the contract was removed while requests were in flight.
+	// The state is kept until they end, so that a new contract of the same
+	// customer counts them.
 	removed bool
 	queues  map[model.Pool]*Queue[R]
 }
 
-// poolQueues holds the lines of one pool.
+// poolQueues holds the queues of one pool and its run time estimates.
 type poolQueues[R any] struct {
-	// active lists the lines that have waiters.
+	// active lists the queues that are not empty.
 	active []*Queue[R]
-	// virtualTime is the virtual time of the last start.
+	// virtualTime is the virtual time of the last request that started, for
+	// weighted fair queueing.
 	virtualTime float64
 	// typicalRunTime is the smoothed run time in milliseconds; 0 without a sample.
 	typicalRunTime float64
-	// likelyRunTime estimates the run time that the share likely of requests stays
-	// below.
+	// likelyRunTime estimates the likelyShare quantile of the run times, in
+	// milliseconds.
 	likelyRunTime float64
 }
 
-// timeNeeded is the time that a request should have left when it starts.
+// timeNeeded returns the time that a request must have left before its deadline
+// when it starts.
 func (h *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(h.likelyRunTime)) }
 
-// addRunTime takes in the run time of a request.
+// addRunTime updates the estimates with the run time of a request, in
+// milliseconds.
 func (h *poolQueues[R]) addRunTime(elapsed float64) {
 	if h.typicalRunTime == 0 {
 		h.typicalRunTime, h.likelyRunTime = elapsed, elapsed
@@ -114,8 +116,8 @@
 	h.typicalRunTime += runTimeWeight * (elapsed - h.typicalRunTime)
 	step := likelyStep * h.typicalRunTime
 	if elapsed < h.likelyRunTime {
-		// Far above the typical run time the estimate falls geometrically, so
-		// that one long request does not stand for thousands of others.
+		// Far above the typical run time the estimate falls geometrically.
+		// Otherwise one long request would distort it for thousands of others.
 		step = max(step, (h.likelyRunTime-h.typicalRunTime)*likelyFall)
 		h.likelyRunTime = max(h.likelyRunTime-step*(1-likelyShare), 0)
 		return
@@ -123,7 +125,7 @@
 	h.likelyRunTime += step * likelyShare
 }
 
-// New returns a gate without customers.
+// New returns a controller without customers.
 func New[P Picker, R any](picker P) *Controller[P, R] {
 	return &Controller[P, R]{
 		picker:    picker,
@@ -132,8 +134,9 @@
 	}
 }
 
-// SetCustomer puts the share of a customer in force. Lines of pools that the
-// contract no longer covers are removed, and their waiters returned.
+// SetCustomer sets this process's share of a customer's limits. It removes the
+// queues of pools that the contract no longer covers and returns the references
+// of their waiters.
 func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
 	a := g.customers[name]
 	if a == nil {
@@ -164,7 +167,7 @@
 	return out
 }
 
-// RemoveCustomer forgets a customer and returns its waiters.
+// RemoveCustomer removes a customer and returns the references of its waiters.
 func (g *Controller[P, R]) RemoveCustomer(name model.Customer) []R {
 	a := g.customers[name]
 	if a == nil {
@@ -179,7 +182,8 @@
 	return out
 }
 
-// dropUnused drops an account whose contract ended and that has nothing in flight.
+// dropUnused drops the state of a customer whose contract was removed and that
+// has no requests in flight.
 func (g *Controller[P, R]) dropUnused(a *CustomerState[R]) {
 	if a.removed && a.Running == 0 {
 		delete(g.customers, a.Name)
@@ -195,8 +199,8 @@
 	return h
 }
 
-// Queue finds the line of a customer in a pool, or the reason why the request
-// can never run in this process.
+// Queue returns the queue of a customer in a pool, or the reason why requests of
+// the customer cannot run in this process.
 func (g *Controller[P, R]) Queue(c model.Customer, p model.Pool) (*Queue[R], Reason) {
 	a := g.customers[c]
 	if a == nil || a.removed {
@@ -212,7 +216,7 @@
 	return l, ReasonNone
 }
 
-// Customer returns the state of a customer; nil when it is not known.
+// Customer returns the state of a customer; nil if the customer is unknown.
 func (g *Controller[P, R]) Customer(c model.Customer) *CustomerState[R] { return g.customers[c] }
 
 // EachCustomer calls f for every customer.
@@ -222,8 +226,8 @@
 	}
 }
 
-// EachWaiting calls f for every pool with the number of the customer's queued
-// requests, where there are any.
+// EachWaiting calls f for every pool in which the customer has queued requests,
+// with their number.
 func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
 	for p, l := range a.queues {
 		if l.length > 0 {
@@ -232,13 +236,14 @@
 	}
 }
 
-// Start counts a request that runs without having waited.
+// Start counts a request that starts without having been queued.
 func (g *Controller[P, R]) Start(l *Queue[R]) {
 	l.Customer.Running++
 	l.advanceVirtualTime()
 }
 
-// End counts the end of a request. A run time below 0 is not learnt from.
+// End counts the end of a request. Its run time updates the estimates of the pool
+// unless it is negative.
 func (g *Controller[P, R]) End(l *Queue[R], elapsed clock.Millis) {
 	l.Customer.Running--
 	g.dropUnused(l.Customer)
@@ -247,7 +252,7 @@
 	}
 }
 
-// TypicalRunTime is the smoothed run time of a pool; 0 when it is not known.
+// TypicalRunTime returns the smoothed run time of a pool; 0 if it is unknown.
 func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
 	if h := g.pools[p]; h != nil {
 		return clock.Millis(h.typicalRunTime)
@@ -255,9 +260,9 @@
 	return 0
 }
 
-// Enqueue queues a request. slots is the number of requests that the pool runs
-// at once. The request is refused when the customer's queue is full, or when
-// the expected wait and run time reach beyond the deadline.
+// Enqueue queues a request. slots is the number of requests that the pool can run
+// at once. The request is refused if the customer's queue is full, or if it is
+// not expected to end before the deadline after its wait and run time.
 func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
 	if l.Customer.Waiting >= l.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
@@ -273,7 +278,8 @@
 	return w, ReasonNone
 }
 
-// HasRunnable reports whether a pool has a waiter whose customer may run now.
+// HasRunnable reports whether a pool has a waiter whose customer is below its
+// share.
 func (g *Controller[P, R]) HasRunnable(p model.Pool) bool {
 	h := g.pools[p]
 	if h == nil {
@@ -287,7 +293,8 @@
 	return false
 }
 
-// RunnableCount is the number of waiters of a pool whose customers may run now.
+// RunnableCount returns the number of waiters of a pool that the shares of their
+// customers allow to run now.
 func (g *Controller[P, R]) RunnableCount(p model.Pool) int {
 	h := g.pools[p]
 	if h == nil {
@@ -300,9 +307,9 @@
 	return n
 }
 
-// Next takes the waiter out of a pool that runs next, and counts it as
-// running. Waiters that can no longer end in time are appended to late. It
-// returns nil when none may run.
+// Next removes the waiter that runs next from the queues of a pool and counts it
+// as running; nil if none may run. Waiters at the head of a queue that can no
+// longer end before their deadline are removed and appended to late.
 func (g *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
 	h := g.pools[p]
 	if h == nil {
@@ -327,7 +334,7 @@
 	return w, late
 }
 
-// Expire removes the waiters whose deadline passed and appends them to late.
+// Expire removes the waiters whose deadline has passed and appends them to late.
 func (g *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
 	for _, h := range g.pools {
 		for i := len(h.active) - 1; i >= 0; i-- {
--- a/core/state/admit/doc.go
+++ b/core/state/admit/doc.go
@@ -1,4 +1,5 @@
-// Package admit decides which request may run next: shares of a contract's
-// concurrency, bounded queues, fair choice between customers, deadlines and
-// the retry budget. It starts no goroutine and reads no clock.
+// Package admit implements admission control: it decides which request may run
+// next, by shares of a contract's concurrency, bounded queues, fair queueing
+// between customers, deadlines and retry budgets. It starts no goroutine and
+// reads no clock.
 package admit
--- a/core/state/admit/queue.go
+++ b/core/state/admit/queue.go
@@ -5,7 +5,7 @@
 	"camphorridge/core/state/model"
 )
 
-// Queue is the queue of one customer in one pool, first come, first served.
+// Queue is the FIFO queue of one customer in one pool.
 type Queue[R any] struct {
 	Customer   *CustomerState[R]
 	Pool       model.Pool
@@ -14,7 +14,7 @@
 	first      *Waiter[R]
 	last       *Waiter[R]
 	length     int
-	// activeIndex is the index in hall.active while length is above 0.
+	// activeIndex is the index in poolQueues.active while length is above 0.
 	activeIndex int
 }
 
@@ -23,24 +23,26 @@
 	Ref      R
 	Deadline clock.Millis
 	Arrived  clock.Millis
-	// arrival orders the waiters of all lines by arrival.
+	// arrival is the arrival number, counted over all queues.
 	arrival    uint64
 	queue      *Queue[R]
 	prev, next *Waiter[R]
 }
 
-// Queue returns the line that the waiter stood in.
+// Queue returns the queue that the waiter is or was in.
 func (w *Waiter[R]) Queue() *Queue[R] { return w.queue }
 
-// CanRun reports whether the customer is below its share.
+// CanRun reports whether the customer has fewer requests in flight than its share
+// allows.
 func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.MaxInFlight }
 
-// Len is the number of waiters.
+// Len returns the number of waiters.
 func (l *Queue[R]) Len() int { return l.length }
 
-// EstimateWait estimates how long a new waiter of the line waits when the pool runs
-// slots requests at once. The pool's rate is divided between the waiting
-// customers by weight, and a customer's rate is bounded by its share.
+// EstimateWait estimates how long a new waiter of the queue waits if the pool runs
+// slots requests at once; 0 while the run time is unknown. The estimate divides the
+// rate of the pool between the waiting customers by weight, and bounds the rate of
+// a customer by its share.
 func (l *Queue[R]) EstimateWait(slots int) clock.Millis {
 	if l.poolQueues.typicalRunTime == 0 || slots <= 0 {
 		return 0
@@ -56,7 +58,7 @@
 	return clock.Millis(float64(l.length+1) * l.poolQueues.typicalRunTime / rate)
 }
 
-// Remove takes a waiter out of its line, for a request that was given up.
+// Remove removes a waiter whose request was given up.
 func (l *Queue[R]) Remove(w *Waiter[R]) { l.remove(w) }
 
 func (l *Queue[R]) push(w *Waiter[R]) {
@@ -67,7 +69,7 @@
 		l.info.FirstArrival = w.arrival
 		l.activeIndex = len(l.poolQueues.active)
 		l.poolQueues.active = append(l.poolQueues.active, l)
-		// A line that was idle gets no credit for the time it did not use.
+		// A queue gets no credit for the time in which it was empty.
 		l.info.VirtualTime = max(l.info.VirtualTime, l.poolQueues.virtualTime)
 	} else {
 		l.last.next = w
@@ -103,7 +105,7 @@
 	h.active = h.active[:end]
 }
 
-// advanceVirtualTime moves the virtual time of the line on by one request.
+// advanceVirtualTime advances the virtual time of the queue by one request.
 func (l *Queue[R]) advanceVirtualTime() {
 	l.info.VirtualTime = max(l.info.VirtualTime, l.poolQueues.virtualTime)
 	l.poolQueues.virtualTime = l.info.VirtualTime
@@ -131,9 +133,9 @@
 	return out
 }
 
-// dropUnfinishable removes the waiters at the heads of the lines that cannot end in
-// time: their deadline is at or before end, the time at which a request that
-// starts now has ended most likely.
+// dropUnfinishable removes the waiters at the heads of the queues that cannot end
+// in time: their deadline is at or before end, the time by which a request that
+// starts now is likely to have ended.
 func (h *poolQueues[R]) dropUnfinishable(end clock.Millis, late []R) []R {
 	for i := len(h.active) - 1; i >= 0; i-- {
 		l := h.active[i]
--- a/core/state/admit/share.go
+++ b/core/state/admit/share.go
@@ -6,9 +6,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Share returns the part of total that the process of the given rank holds
-// among count processes. The shares of all ranks add up to total; the
-// remainder goes to the lowest ranks. It is 0 for a rank out of range.
+// Share returns the part of total that belongs to the process of the given rank
+// among count processes. The shares of all ranks add up to total; the remainder
+// goes to the lowest ranks. The share is 0 for a rank out of range.
 func Share(total, rank, count int) int {
 	if total <= 0 || count <= 0 || rank < 0 || rank >= count {
 		return 0
@@ -20,8 +20,8 @@
 	return share
 }
 
-// Rank returns the position of self among the names in their order, and the
-// number of different names. The rank is -1 when self is not among them.
+// Rank returns the position of self among the sorted names, from 0, and the number
+// of distinct names. The rank is -1 if self is not among them.
 func Rank(names []model.Process, self model.Process) (rank, count int) {
 	sorted := slices.Clone(names)
 	slices.Sort(sorted)
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Apply applies the change at the given log index and returns its answer.
-// Changes at or below the state's index were applied before and must not be
-// passed again.
+// Apply applies the change at the given log index and returns its result. A
+// change whose request was answered before is not applied again and gets the
+// stored result. The index must be above the state's index.
 func (s *State) Apply(index model.Version, c model.Change) model.Result {
 	s.Index = index
 	s.Time = max(s.Time, c.Time)
@@ -55,7 +55,8 @@
 	}
 }
 
-// declareProcessGone remembers that the runs of an entry process so far have ended.
+// declareProcessGone records that all runs of an entry process that started
+// before now have ended.
 func (s *State) declareProcessGone(index model.Version, c model.Change) model.Result {
 	if c.Process == "" {
 		return invalid("the change names no process")
@@ -71,7 +72,8 @@
 	return model.Result{Kind: model.ResultInvalid, Reason: reason}
 }
 
-// conflict names the winner of a change against an outdated version.
+// conflict returns the result of a change that was based on an outdated version
+// of the object. It names the author of the change that won.
 func (s *State) conflict(object string, current model.Version, differs []string) model.Result {
 	a, known := s.Authors[object]
 	reason := fmt.Sprintf("%s is at version %d", object, current)
@@ -90,8 +92,9 @@
 	}
 }
 
-// removalConflict answers a removal of an object that does not exist. When its
-// removal is still remembered, that removal won against this one.
+// removalConflict returns the result of removing an object that does not exist:
+// a conflict with the earlier removal if that is still recorded, otherwise
+// invalid.
 func (s *State) removalConflict(object string) model.Result {
 	if _, known := s.Authors[object]; known {
 		return s.conflict(object, 0, nil)
@@ -99,9 +102,9 @@
 	return invalid(object + " does not exist")
 }
 
-// recordRemoval records who recordRemoval an object and forgets the oldest removals. Half
-// of them go at once, so that the search for the oldest is paid once for many
-// removals.
+// recordRemoval records the author of a removal. When there are more than
+// MaxRemoved removals, it drops all but the latest MaxRemoved/2, so that the cost
+// of sorting them is spread over many removals.
 func (s *State) recordRemoval(object, author string, index model.Version) {
 	s.Authors[object] = Author{Name: author, Version: index}
 	over := len(s.Authors) - len(s.Contracts) - len(s.Instances) - len(s.Maintenance) - MaxRemoved
@@ -200,7 +203,7 @@
 	return model.Result{Version: index}
 }
 
-// contractDiff names the settings in which two contracts differ.
+// contractDiff returns the names of the settings in which two contracts differ.
 func contractDiff(a, b model.Contract) []string {
 	var d []string
 	add := func(name string, differs bool) {
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -5,10 +5,11 @@
 	"camphorridge/core/state/model"
 )
 
-// applyClaims grants each key to the first attempt that asks for it. The same
-// attempt asking again, after a lost answer, is granted again as long as the
-// request was not finished. A claim without a token is refused: two attempts
-// without one would both be granted.
+// applyClaims grants each key to the first attempt that claims it. If the same
+// attempt claims it again, for example because the answer was lost, the claim is
+// granted again as long as the request has not finished. Claims without a token
+// are refused, because two attempts without one could not be told apart and
+// would both be granted.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
 	s.setIncarnation(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
@@ -29,9 +30,10 @@
 	return r
 }
 
-// setIncarnation notes the incarnation of an entry process. The requests of its
-// earlier runs have ended with them, so what is known of those that were
-// running becomes unknown. The claims are looked at once for each run.
+// setIncarnation records the incarnation of an entry process. When it has grown,
+// the requests of earlier incarnations have ended with their process, so the
+// state of their running claims becomes unknown. All claims are scanned once for
+// each new incarnation.
 func (s *State) setIncarnation(p model.Process, run uint64) {
 	held, known := s.Incarnations[p]
 	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxIncarnations) {
@@ -49,10 +51,10 @@
 	})
 }
 
-// applyOutcomes closes claims, or releases those whose request did not run.
-// Outcomes of other attempts than the holder are ignored, and so are later
-// outcomes of the holder: a request that is known to have run must not be
-// released by a message that was delayed or repeated.
+// applyOutcomes closes claims, or releases them if the request did not run. It
+// ignores outcomes of attempts that do not hold the claim, and outcomes for a
+// claim that is already closed: a delayed or repeated message must not release
+// the claim of a request that ran.
 func (s *State) applyOutcomes(index model.Version, c model.Change) model.Result {
 	for _, o := range c.Outcomes {
 		held, ok := s.Claims.Get(o.Key)
--- a/core/state/fleet/doc.go
+++ b/core/state/fleet/doc.go
@@ -1,5 +1,5 @@
 // Package fleet is the replicated state machine: contracts, instances,
-// maintenance declarations, remembered results and idempotency claims. Apply
-// is a pure function of the state, the index and the change, so that every
-// replica ends in the same state.
+// maintenance declarations, results of changes, idempotency claims and jobs.
+// Apply depends only on the state, the index and the change, so all replicas
+// that apply the same log reach the same state.
 package fleet
--- a/core/state/fleet/expiring_map.go
+++ b/core/state/fleet/expiring_map.go
@@ -2,15 +2,17 @@
 
 import "camphorridge/core/state/clock"
 
-// ExpiringMap remembers values by key for a lifetime and up to a number of keys;
-// the oldest go first. Times must not decrease from one Put to the next.
+// ExpiringMap is a map whose entries expire after a lifetime. When it holds more
+// than Limit keys, the oldest are dropped. Times must not decrease from one Put
+// to the next.
 type ExpiringMap[K comparable, V any] struct {
 	// Limit is the largest number of keys; at least 1.
 	Limit    int
 	Lifetime clock.Millis
 	items    map[K]mapEntry[V]
-	// order holds the keys in the order of their first Put; keys that were
-	// removed or put again stay in it until they reach the front.
+	// order lists the keys in the order of the Puts. Entries of keys that were
+	// removed or put again are stale; they stay until they reach the front or
+	// compact drops them.
 	order []orderedKey[K]
 	next  uint64
 }
@@ -27,22 +29,23 @@
 	time clock.Millis
 }
 
-// minStaleKeys is the number of stale keys below which a compaction is not
-// worth its copy.
+// minStaleKeys is the number of stale entries in order below which a compaction
+// is not worth the copy.
 const minStaleKeys = 64
 
-// NewExpiringMap returns an empty memory.
+// NewExpiringMap returns an empty map. A limit below 1 counts as 1.
 func NewExpiringMap[K comparable, V any](limit int, lifetime clock.Millis) *ExpiringMap[K, V] {
 	return &ExpiringMap[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]mapEntry[V]{}}
 }
 
-// Get returns the value of a key that was not forgotten yet.
+// Get returns the value of a key; ok is false if the map does not hold the key.
 func (m *ExpiringMap[K, V]) Get(k K) (v V, ok bool) {
 	r, ok := m.items[k]
 	return r.value, ok
 }
 
-// Put remembers a value from now on and forgets what is too old.
+// Put sets the value of a key, starts its lifetime at now, and drops expired
+// entries.
 func (m *ExpiringMap[K, V]) Put(k K, v V, now clock.Millis) {
 	m.next++
 	m.items[k] = mapEntry[V]{value: v, time: now, id: m.next}
@@ -51,9 +54,9 @@
 	m.compact()
 }
 
-// compact drops the keys that were removed or put again once they outnumber
-// the keys held. Without it a single old key at the front would keep every
-// key removed after it for a whole lifetime.
+// compact drops the stale entries of order once they outnumber the keys held.
+// Without it, a single old key at the front would keep all stale entries behind
+// it for a whole lifetime.
 func (m *ExpiringMap[K, V]) compact() {
 	if len(m.order) <= 2*len(m.items)+minStaleKeys {
 		return
@@ -67,8 +70,8 @@
 	m.order = kept
 }
 
-// Update changes the value of a key without making it younger. It does
-// nothing for a key that is not held.
+// Update changes the value of a key without extending its lifetime. It does
+// nothing if the map does not hold the key.
 func (m *ExpiringMap[K, V]) Update(k K, v V) {
 	r, ok := m.items[k]
 	if !ok {
@@ -78,13 +81,14 @@
 	m.items[k] = r
 }
 
-// Remove forgets a key.
+// Remove deletes a key.
 func (m *ExpiringMap[K, V]) Remove(k K) { delete(m.items, k) }
 
-// Len is the number of keys held.
+// Len returns the number of keys held.
 func (m *ExpiringMap[K, V]) Len() int { return len(m.items) }
 
-// Expire forgets what is older than the lifetime or beyond the limit.
+// Expire drops the entries that are older than the lifetime, and the oldest
+// entries while the map holds more keys than its limit.
 func (m *ExpiringMap[K, V]) Expire(now clock.Millis) {
 	for len(m.order) > 0 {
 		first := m.order[0]
@@ -100,7 +104,7 @@
 	}
 }
 
-// Each calls f for every key held, oldest first.
+// Each calls f for every key held, oldest first; t is the time of its Put.
 func (m *ExpiringMap[K, V]) Each(f func(k K, v V, t clock.Millis)) {
 	for _, o := range m.order {
 		r, ok := m.items[o.key]
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -6,33 +6,33 @@
 	"camphorridge/core/state/model"
 )
 
-// Bounds on what the state remembers.
+// Bounds on the records in the state.
 const (
-	// ResultLifetime and MaxResults bound the remembered results of operators'
-	// changes. An operator's tool resends within minutes.
+	// ResultLifetime and MaxResults bound the stored results of operators'
+	// changes. Operators' tools resend within minutes.
 	ResultLifetime = 24 * clock.Hour
 	MaxResults     = 10_000
 	// ClaimLifetime and MaxClaims bound the idempotency claims.
 	ClaimLifetime = 24 * clock.Hour
 	// 100,000 claims take 27 MB, and a control instance may use 128 MB.
 	MaxClaims = 200_000
-	// MaxOutages bounds the remembered outages. At the target size about 2,000
+	// MaxOutages bounds the finished outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
-	// MaxGoneProcesses bounds the entry processes that are remembered as gone.
+	// MaxGoneProcesses bounds the entry processes recorded as gone.
 	MaxGoneProcesses = 1000
-	// MaxIncarnations bounds the entry processes whose incarnation is remembered.
+	// MaxIncarnations bounds the entry processes whose incarnation is recorded.
 	MaxIncarnations = 1000
-	// MaxTableChanges is the number of table changes that a delta can span; a
+	// MaxTableChanges is the number of table changes that a delta can span. A
 	// reader that is further behind gets the whole table.
 	MaxTableChanges = 10_000
-	// MaxRemoved is the number of removed objects whose removal is remembered
-	// to name the winner of a conflict. Operators notice a conflict within
-	// hours; the target scale has 2,300 changes a day.
+	// MaxRemoved is the number of removed objects whose removal is recorded, so
+	// that a conflict can name its winner. Operators notice a conflict within
+	// hours; the target size has 2,300 changes a day.
 	MaxRemoved = 10_000
-	// MaxRetired is the number of retired instances that stay in the table.
-	// They are part of every full table, and 900 instances may be replaced a
-	// day, so that the table would grow without a bound.
+	// MaxRetired is the number of retired instances that stay in the table. They
+	// are part of every full table and up to 900 instances a day are replaced, so
+	// without a bound the table would keep growing.
 	MaxRetired = 1_000
 )
 
@@ -48,48 +48,53 @@
 	Contracts   map[model.Customer]model.Contract
 	Instances   map[model.InstanceID]model.Instance
 	Maintenance map[string]model.Maintenance
-	// Results holds the answers to operators' changes by request identity;
-	// at most MaxResults.
+	// Results holds the results of operators' changes by request ID; at most
+	// MaxResults.
 	Results *ExpiringMap[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
 	Claims *ExpiringMap[model.ClaimKey, HeldClaim]
-	// GoneProcesses holds the entry processes that were declared gone, with the time of
-	// the declaration: runs that started before it have ended. At most MaxGone.
+	// GoneProcesses holds the time at which an entry process was declared gone;
+	// its runs that started before that time have ended. At most
+	// MaxGoneProcesses.
 	GoneProcesses map[model.Process]clock.Millis
-	// Incarnations holds the latest incarnation of each entry process that claimed; at
-	// most MaxRuns, and each only grows.
+	// Incarnations holds the latest incarnation of each entry process that made a
+	// claim. Each only grows; at most MaxIncarnations.
 	Incarnations map[model.Process]uint64
-	// Outages lists the finished outages in the order of their ends; at most
-	// MaxOutages. Budgets are computed from them, also by a new leader.
+	// Outages lists the finished outages in the order of their end times; at most
+	// MaxOutages. They are replicated because a new leader computes the
+	// disruption budgets from them.
 	Outages []model.Outage
-	// Authors names who last changed or removed an object, for conflicts; at
-	// most MaxRemoved of the objects do not exist any more.
+	// Authors holds the author of the last change or removal of each object, to
+	// name the winner of a conflict. At most MaxRemoved of the objects no longer
+	// exist.
 	Authors map[string]Author
 	// TableChanges lists the latest table changes in ascending order of version;
-	// at most MaxTouches.
+	// at most MaxTableChanges.
 	TableChanges []TableChange
-	// Jobs is the submitted work.
+	// Jobs holds the submitted jobs.
 	Jobs *jobs.State
 }
 
 // HeldClaim is a claimed idempotency key.
 type HeldClaim struct {
 	Token string
-	// Owner and Run name the entry process that runs the request, and its
-	// incarnation.
+	// Owner is the entry process that runs the request, and Incarnation its
+	// incarnation at the time of the claim.
 	Owner       model.Process
 	Incarnation uint64
 	State       model.ClaimState
 	Status      int
 }
 
-// Author is who last changed an object and by which change.
+// Author is the author of the last change of an object, with the version of that
+// change.
 type Author struct {
 	Name    string
 	Version model.Version
 }
 
-// TableChange says that a change altered a contract or an instance; one name is set.
+// TableChange records that a change altered a contract or an instance. Exactly
+// one of the two names is set.
 type TableChange struct {
 	Version  model.Version
 	Contract model.Customer
@@ -111,7 +116,7 @@
 	}
 }
 
-// Table returns a copy of the configuration that entry processes route by.
+// Table returns a copy of the routing table for entry processes.
 func (s *State) Table() model.Table {
 	t := model.Table{
 		Version:   s.Version,
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -9,10 +9,10 @@
 	"camphorridge/core/state/model"
 )
 
-// transitions lists the phases that may follow on a phase. Leaving a pool, be
-// it for another pool, for maintenance or for good, always starts with a
-// release, because only a release makes the entry processes of the zone
-// confirm that their requests ended. Nothing follows on retired.
+// transitions lists the allowed next phases of each phase. An instance that
+// leaves its pool, for another pool, for maintenance or to be retired, is always
+// released first: only a release makes the entry processes of the zone confirm
+// that their requests have ended. Retired is final.
 var transitions = [...][]model.Phase{
 	model.PhaseServing:     {model.PhaseServing, model.PhaseReleasing},
 	model.PhaseReleasing:   {model.PhaseServing, model.PhaseMaintenance, model.PhaseRetired},
@@ -20,14 +20,15 @@
 	model.PhaseRetired:     nil,
 }
 
-// applyInstanceSteps applies all steps or none, so that a batch that was decided
+// applyInstanceSteps applies all steps or none, so that a batch that was planned
 // on an outdated state changes nothing.
 func (s *State) applyInstanceSteps(index model.Version, c model.Change) model.Result {
 	seen := make(map[model.InstanceID]bool, len(c.Instances))
 	for _, step := range c.Instances {
 		id := step.Instance.ID
 		if seen[id] {
-			// Both steps would be checked against the state before the batch.
+			// Each step is checked against the state before the batch, so a second
+			// step would not see the first.
 			return invalid(fmt.Sprintf("two steps for instance %s in one change", id))
 		}
 		seen[id] = true
@@ -54,10 +55,10 @@
 	return model.Result{Version: index}
 }
 
-// withTimes sets the times of the next state of an instance and remembers an
-// outage that ends with it. now is the state's time, not that of the change: a
-// new leader's clock may be behind, and an outage must not end before its
-// start.
+// withTimes returns the next state of an instance with its times set. If the step
+// ends an outage, it also records the outage. now is the state's time rather than
+// that of the change: a new leader's clock may be behind, and an outage must not
+// end before its start.
 func (s *State) withTimes(held, next model.Instance, now clock.Millis) model.Instance {
 	next.PhaseSince = held.PhaseSince
 	if held.ID == "" || next.Phase != held.Phase {
@@ -77,8 +78,8 @@
 	return next
 }
 
-// checkStep returns the reason why the step would break the rule that an
-// instance belongs to exactly one pool; empty when it is allowed.
+// checkStep returns the reason why the step is not allowed; empty if it is. The
+// checks ensure that an instance belongs to exactly one pool.
 func checkStep(held, next model.Instance) string {
 	switch {
 	case next.ID == "" || next.Pool == "" || next.Zone == "":
@@ -108,15 +109,15 @@
 	return ""
 }
 
-// finishesMove reports whether the step is the only one that changes a pool:
-// from a release towards that very pool.
+// finishesMove reports whether the step ends a release in its target pool. No
+// other step may change the pool of an instance.
 func finishesMove(held, next model.Instance) bool {
 	return held.Phase == model.PhaseReleasing && next.Phase == model.PhaseServing && next.Pool == held.Target
 }
 
-// dropRetired removes the instances that were retired first when there are
-// too many. Their names may be enrolled again: each left its pool by a
-// confirmed release.
+// dropRetired removes the instances that were retired first while there are more
+// than MaxRetired. Their IDs may be enrolled again, because each instance left
+// its pool by a confirmed release.
 func (s *State) dropRetired(index model.Version) {
 	var retired []model.Instance
 	for _, i := range s.Instances {
@@ -142,15 +143,15 @@
 	s.Version = t.Version
 	s.TableChanges = append(s.TableChanges, t)
 	if over := len(s.TableChanges) - MaxTableChanges; over > 0 {
-		// The front is cut off without a copy; append moves the rest to a new
-		// array when this one is full.
+		// Reslicing drops the front without a copy. When the array is full, append
+		// moves the rest to a new one.
 		s.TableChanges = s.TableChanges[over:]
 	}
 }
 
-// Delta returns what changed in the table since a version. Its size follows
-// what changed; a reader further behind than the touches reach gets the whole
-// table.
+// Delta returns the changes of the table since a version. Its size is
+// proportional to the number of changed objects. A reader that is further behind
+// than TableChanges reaches gets the whole table.
 func (s *State) Delta(from model.Version) model.Delta {
 	if from == s.Version {
 		return model.Delta{From: from, To: s.Version}
@@ -191,7 +192,7 @@
 	d.RemovedInstances = append(d.RemovedInstances, id)
 }
 
-// changesReach reports whether the touches hold every change after from.
+// changesReach reports whether TableChanges holds every change after from.
 func (s *State) changesReach(from model.Version) bool {
 	if len(s.TableChanges) < MaxTableChanges {
 		return true
@@ -203,7 +204,7 @@
 	return FullDelta(s.Version, s.Contracts, s.Instances)
 }
 
-// FullDelta returns a delta that replaces a table by the given content.
+// FullDelta returns a delta that replaces a table with the given content.
 func FullDelta(v model.Version, contracts map[model.Customer]model.Contract, instances map[model.InstanceID]model.Instance) model.Delta {
 	d := model.Delta{To: v, Full: true}
 	for _, c := range contracts {
@@ -215,8 +216,8 @@
 	return d
 }
 
-// Merge applies a delta to a table. It reports false, and changes nothing,
-// when the delta would lower the version or does not follow on the table.
+// Merge applies a delta to a table. It returns false and changes nothing if the
+// delta would lower the table's version or does not start at it.
 func Merge(t *model.Table, d model.Delta) bool {
 	if d.To < t.Version || (!d.Full && d.From != t.Version) {
 		return false
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -32,19 +32,19 @@
 		for b.Loop() {
 			minutes, absent, felt, violations, missed, taken = 0, 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
-				w := newWorld(seed, 50, 3, 5, 5, covers, most)
-				w.phase = clock.Millis(seed) * 12 * clock.Minute
+				w := newFakeFleet(seed, 50, 3, 5, 5, covers, most)
+				w.peakShift = clock.Millis(seed) * 12 * clock.Minute
 				m := w.declare(8 * clock.Hour)
-				board := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, quick())
+				board := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod())
 				board.Load(w.input())
 				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
-					out := w.peak()
-					tell(w, board)
+					out := w.setPeakPressure()
+					sendChanges(w, board)
 					for _, s := range board.Pass(w.now).Steps {
 						if s.Kind == StepReturn && !s.Done {
 							taken++
 						}
-						w.do(s)
+						w.carryOut(s)
 					}
 					absent += float64(out.count)
 					felt += float64(out.excess)
@@ -66,28 +66,28 @@
 	})
 }
 
-type peakOut struct{ count, excess int }
+type peakSample struct{ count, excess int }
 
-// peak sets the pressure of the minute. Hours with peaks and quiet hours take
-// turns, shifted by the seed; in the former half of the minutes hold a peak, in which callers feel
+// setPeakPressure sets the pressure of the minute. Hours with peaks and quiet hours take
+// turns, shifted by the seed; in the former half of the minutes hold a setPeakPressure, in which callers feel
 // 20 permille even of a whole fleet and 25 more for each instance that is out,
-// since the peak exceeds what the pool holds. The board is told the mean of
+// since the setPeakPressure exceeds what the pool holds. The board is told the mean of
 // about the last four minutes: peaks are shorter than a maintenance.
-func (w *world) peak() peakOut {
+func (w *fakeFleet) setPeakPressure() peakSample {
 	n := 0
-	for id, i := range w.inst {
-		if out(i, w.seen[id]) {
+	for id, i := range w.instances {
+		if isOutOfService(i, w.observations[id]) {
 			n++
 		}
 	}
 	p := 0
-	if (w.now+w.phase)/clock.Hour%2 == 0 && w.rnd.IntN(2) == 0 {
+	if (w.now+w.peakShift)/clock.Hour%2 == 0 && w.rnd.IntN(2) == 0 {
 		p = 20 + 25*n
 	}
 	for _, c := range w.contracts {
 		w.pressure[c.Customer] = (3*w.pressure[c.Customer] + p) / 4
 	}
-	return peakOut{count: n, excess: max(0, p-20)}
+	return peakSample{count: n, excess: max(0, p-20)}
 }
 
 // BenchmarkPass reports the time and memory of one pass with 12 changes, with
@@ -97,24 +97,24 @@
 		for _, scan := range []bool{false, true} {
 			name := map[bool]string{false: "index", true: "scan"}[scan]
 			b.Run(fmt.Sprintf("%s/%d", name, size.n), func(b *testing.B) {
-				passes(b, newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2), scan)
+				benchPasses(b, newFakeFleet(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2), scan)
 			})
 			b.Run(fmt.Sprintf("%s-wave/%d", name, size.n), func(b *testing.B) {
-				w := newWorld(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
+				w := newFakeFleet(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
 				w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: 100 * clock.Day, Deadline: 110 * clock.Day}}
-				passes(b, w, scan)
+				benchPasses(b, w, scan)
 			})
 		}
 	}
 }
 
-func passes(b *testing.B, w *world, scan bool) {
+func benchPasses(b *testing.B, w *fakeFleet, scan bool) {
 	set := Defaults()
 	set.FullScan = scan
 	w.now = 100 * clock.Day
-	ids := sortedKeys(w.inst)
+	ids := sortedKeys(w.instances)
 	for k, id := range ids {
-		w.inst[id] = maintained(w.inst[id], w.now-clock.Millis(k)*40*clock.Day/clock.Millis(len(ids)))
+		w.instances[id] = maintainedAt(w.instances[id], w.now-clock.Millis(k)*40*clock.Day/clock.Millis(len(ids)))
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -131,9 +131,9 @@
 		for range 10 {
 			k++
 			id := ids[k*7%len(ids)]
-			s := w.seen[id]
+			s := w.observations[id]
 			s.Calls++
-			w.seen[id] = s
+			w.observations[id] = s
 			board.SetObservation(id, s)
 		}
 		for _, lost := range []bool{false, true} {
@@ -141,14 +141,14 @@
 				down = ids[k*11%len(ids)]
 			}
 			w.lose(down, lost)
-			board.SetObservation(down, w.seen[down])
+			board.SetObservation(down, w.observations[down])
 		}
 		w.outages = w.outages[:0]
 		for _, s := range board.Pass(w.now).Steps {
-			w.do(s)
-			board.SetInstance(w.inst[s.Instance])
+			w.carryOut(s)
+			board.SetInstance(w.instances[s.Instance])
 			w.advance()
-			board.SetObservation(s.Instance, w.seen[s.Instance])
+			board.SetObservation(s.Instance, w.observations[s.Instance])
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
@@ -158,19 +158,19 @@
 // stopped, with touched instances that fail an eighth of their requests, and
 // how many of 20 waves with healthy instances stopped for no reason.
 func BenchmarkJudge(b *testing.B) {
-	judged(b, "never", NeverStop{})
-	judged(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
-	judged(b, "score", ZTest{Z: 4, MinFailures: 3})
+	benchStopPolicy(b, "never", NeverStop{})
+	benchStopPolicy(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
+	benchStopPolicy(b, "score", ZTest{Z: 4, MinFailures: 3})
 }
 
-func judged[J StopPolicy](b *testing.B, name string, j J) {
+func benchStopPolicy[J StopPolicy](b *testing.B, name string, j J) {
 	b.Run(name, func(b *testing.B) {
 		var touched, wrong float64
 		for b.Loop() {
 			touched, wrong = 0, 0
 			for seed := range uint64(20) {
-				touched += 50 - float64(judgedRun(j, seed, true).unfinished(model.Maintenance{DeclaredAt: clock.Day}))
-				if judgedRun(j, seed, false).stopped {
+				touched += 50 - float64(runWave(j, seed, true).unfinished(model.Maintenance{DeclaredAt: clock.Day}))
+				if runWave(j, seed, false).stopped {
 					wrong++
 				}
 			}
@@ -180,17 +180,17 @@
 	})
 }
 
-// judgedRun runs a wave for four hours. A returned instance has run few
+// runWave runs a wave for four hours. A returned instance has run few
 // requests at first: 8 a minute, one in 400 of which fails as on its peers.
-func judgedRun[J StopPolicy](j J, seed uint64, bad bool) *world {
-	w := newWorld(seed, 50, 3, 5, 5, model.DomainRack, 4)
+func runWave[J StopPolicy](j J, seed uint64, bad bool) *fakeFleet {
+	w := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
-	board := NewPlanner(FullSpeedPacer{}, j, quick())
+	board := NewPlanner(FullSpeedPacer{}, j, settingsWithoutPeriod())
 	board.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
-		for _, id := range sortedKeys(w.inst) {
-			if i := w.inst[id]; i.MaintainedAt > 1 && w.now-i.MaintainedAt < 25*clock.Minute {
-				s := w.seen[id]
+		for _, id := range sortedKeys(w.instances) {
+			if i := w.instances[id]; i.MaintainedAt > 1 && w.now-i.MaintainedAt < 25*clock.Minute {
+				s := w.observations[id]
 				if w.now-i.MaintainedAt <= clock.Minute {
 					s.Calls, s.Failures = 0, 0
 				}
@@ -200,14 +200,14 @@
 						s.Failures++
 					}
 				}
-				w.seen[id] = s
+				w.observations[id] = s
 			}
 		}
-		tell(w, board)
+		sendChanges(w, board)
 		plan := board.Pass(w.now)
-		w.note(plan)
+		w.record(plan)
 		for _, s := range plan.Steps {
-			w.do(s)
+			w.carryOut(s)
 		}
 		w.advance()
 	}
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -10,34 +10,34 @@
 	"camphorridge/core/state/model"
 )
 
-func quick() Settings {
+func settingsWithoutPeriod() Settings {
 	s := Defaults()
 	s.PeriodMillis = 0
 	return s
 }
 
-func (w *world) declare(deadline clock.Millis) model.Maintenance {
+func (w *fakeFleet) declare(deadline clock.Millis) model.Maintenance {
 	m := model.Maintenance{Name: "firmware", DeclaredAt: w.now, Deadline: w.now + deadline}
 	w.decls = append(w.decls, m)
 	return m
 }
 
-// run advances the world until the time is reached and the board with it. At
+// runFleet advances the world until the time is reached and the board with it. At
 // every pass a board that is newly filled has to decide the same.
-func run[P Pacer, J StopPolicy](t rapid.TB, w *world, p P, j J, set Settings, until clock.Millis, each func()) {
+func runFleet[P Pacer, J StopPolicy](t rapid.TB, w *fakeFleet, p P, j J, set Settings, until clock.Millis, each func()) {
 	b := NewPlanner(p, j, set)
 	b.Load(Input{Contracts: w.contracts, Declarations: w.decls})
 	for w.now < until {
-		tell(w, b)
+		sendChanges(w, b)
 		plan := b.Pass(w.now)
 		if w.now%(7*clock.Minute) == 0 {
 			fresh := PlanOnce(p, j, set, w.input(), w.now)
 			assert.DeepEqual(t, fresh.Steps, plan.Steps)
 			assert.DeepEqual(t, fresh.Stops, plan.Stops)
 		}
-		w.note(plan)
+		w.record(plan)
 		for _, s := range plan.Steps {
-			w.do(s)
+			w.carryOut(s)
 		}
 		w.checkWindow()
 		w.advance()
@@ -54,7 +54,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 18).Draw(t, "n")
 		covers := model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers"))
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, rapid.IntRange(1, 2).Draw(t, "per"), covers, rapid.IntRange(0, 4).Draw(t, "most"))
+		w := newFakeFleet(rapid.Uint64().Draw(t, "seed"), n, 3, 2, rapid.IntRange(1, 2).Draw(t, "per"), covers, rapid.IntRange(0, 4).Draw(t, "most"))
 		if rapid.Bool().Draw(t, "shared") {
 			// A customer of its own on a pool that another one holds too.
 			w.contracts = append(w.contracts, model.Contract{
@@ -64,11 +64,11 @@
 		deadline := clock.Millis(rapid.IntRange(30, 600).Draw(t, "deadline")) * clock.Minute
 		m := w.declare(deadline)
 		losses := rapid.IntRange(0, 20).Draw(t, "losses")
-		ids := sortedKeys(w.inst)
-		run(t, w, FullSpeedPacer{}, NeverStop{}, quick(), m.Deadline+clock.Hour, func() {
+		ids := sortedKeys(w.instances)
+		runFleet(t, w, FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), m.Deadline+clock.Hour, func() {
 			id := ids[w.rnd.IntN(len(ids))]
 			w.lose(id, w.rnd.IntN(1000) < losses)
-			if w.now == m.Deadline && w.unfinished(m) > 0 && w.late[m.Name] == 0 {
+			if w.now == m.Deadline && w.unfinished(m) > 0 && w.firstUnmet[m.Name] == 0 {
 				t.Fatalf("%d instances are left at the deadline and no report was made", w.unfinished(m))
 			}
 		})
@@ -81,15 +81,15 @@
 // Guards against an overspent window budget when all outages are planned.
 func TestWindowBudgetHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 12).Draw(t, "n"), 3, 1, 1, model.DomainZone, 3)
+		w := newFakeFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 12).Draw(t, "n"), 3, 1, 1, model.DomainZone, 3)
 		w.contracts[0].WindowMillis = clock.Millis(rapid.IntRange(30, 200).Draw(t, "window")) * clock.Minute
 		w.contracts[0].BudgetMillis = clock.Millis(rapid.IntRange(0, 60).Draw(t, "budget")) * clock.Minute
 		m := w.declare(20 * clock.Hour)
-		run(t, w, FullSpeedPacer{}, NeverStop{}, quick(), w.now+10*clock.Hour, nil)
+		runFleet(t, w, FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), w.now+10*clock.Hour, nil)
 		for _, v := range w.violations {
 			t.Fatal(v)
 		}
-		if w.contracts[0].BudgetMillis < 10*clock.Minute && (w.unfinished(m) == 0 || w.late[m.Name] == 0) {
+		if w.contracts[0].BudgetMillis < 10*clock.Minute && (w.unfinished(m) == 0 || w.firstUnmet[m.Name] == 0) {
 			t.Fatal("a budget below one maintenance has to be reported and start nothing")
 		}
 	})
@@ -100,22 +100,22 @@
 func TestFeasibleDeadlinesAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "n")
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
+		w := newFakeFleet(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := w.declare(1)
-		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now).UnmetDeadlines
+		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), w.input(), w.now).UnmetDeadlines
 		assert.Equal(t, len(late), 1)
 		w.decls[0].Deadline = late[0].Estimate
 		m = w.decls[0]
 		switch rapid.IntRange(0, 2).Draw(t, "pacer") {
 		case 0:
-			run(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
+			runFleet(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod(), m.Deadline, nil)
 		case 1:
-			run(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
+			runFleet(t, w, ProportionalPacer{HaltPermille: 50}, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod(), m.Deadline, nil)
 		default:
-			run(t, w, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, MinFailures: 3}, quick(), m.Deadline, nil)
+			runFleet(t, w, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod(), m.Deadline, nil)
 		}
-		if left := w.unfinished(m); left > 0 || w.late[m.Name] > 0 || len(w.violations) > 0 {
-			t.Fatalf("%d left, reported late at %d, %v", left, w.late[m.Name], w.violations)
+		if left := w.unfinished(m); left > 0 || w.firstUnmet[m.Name] > 0 || len(w.violations) > 0 {
+			t.Fatalf("%d left, reported late at %d, %v", left, w.firstUnmet[m.Name], w.violations)
 		}
 	})
 }
@@ -124,10 +124,10 @@
 // against one that stops although it does not.
 func TestWaveStopsOnFailures(t *testing.T) {
 	for _, bad := range []bool{false, true} {
-		w := newWorld(7, 30, 3, 3, 3, model.DomainRack, 4)
-		w.bad = bad
+		w := newFakeFleet(7, 30, 3, 3, 3, model.DomainRack, 4)
+		w.failTouched = bad
 		m := w.declare(clock.Day)
-		run(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, quick(), w.now+6*clock.Hour, nil)
+		runFleet(t, w, FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod(), w.now+6*clock.Hour, nil)
 		assert.Equal(t, w.stopped, bad)
 		if bad {
 			assert.Equal(t, w.unfinished(m), 29, "only the canary is touched")
@@ -140,13 +140,13 @@
 // Guards against a pace that ignores what callers feel, and against waits that
 // do not name their limit.
 func TestPressureSlowsWave(t *testing.T) {
-	w := newWorld(3, 30, 3, 1, 1, model.DomainZone, 6)
-	w.inst["i0000"] = maintained(w.inst["i0000"], w.now)
+	w := newFakeFleet(3, 30, 3, 1, 1, model.DomainZone, 6)
+	w.instances["i0000"] = maintainedAt(w.instances["i0000"], w.now)
 	w.now += clock.Hour
 	w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
 	releases := func(p int) (int, Plan) {
 		w.pressure["c00"] = p
-		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, quick(), w.input(), w.now)
+		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, settingsWithoutPeriod(), w.input(), w.now)
 		return len(plan.Steps), plan
 	}
 	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
@@ -162,7 +162,7 @@
 	}
 }
 
-func maintained(i model.Instance, at clock.Millis) model.Instance {
+func maintainedAt(i model.Instance, at clock.Millis) model.Instance {
 	i.MaintainedAt = at
 	return i
 }
@@ -170,35 +170,35 @@
 // Guards against moves between pools that hold up or take back maintenance in
 // another domain as if they were losses.
 func TestMovesDoNotHoldUpOtherDomains(t *testing.T) {
-	w := newWorld(3, 12, 3, 1, 1, model.DomainZone, 3)
+	w := newFakeFleet(3, 12, 3, 1, 1, model.DomainZone, 3)
 	w.declare(clock.Day)
-	w.inst["i0003"] = maintained(w.inst["i0003"], w.now)
+	w.instances["i0003"] = maintainedAt(w.instances["i0003"], w.now)
 	w.now += clock.Hour
 	for id, target := range map[model.InstanceID]model.Pool{"i0000": "p00", "i0001": "other"} {
-		i := w.inst[id]
+		i := w.instances[id]
 		i.Phase, i.Target, i.PhaseSince = model.PhaseReleasing, target, w.now
-		w.inst[id] = i
+		w.instances[id] = i
 	}
-	plan := PlanOnce(FullSpeedPacer{}, NeverStop{}, quick(), w.input(), w.now)
+	plan := PlanOnce(FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), w.input(), w.now)
 	assert.Equal(t, len(plan.Steps), 1)
 	assert.Equal(t, plan.Steps[0].Kind, StepRelease)
-	assert.Equal(t, w.inst[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
+	assert.Equal(t, w.instances[plan.Steps[0].Instance].Zone, model.Zone("z00"), "the zone of the maintained instance")
 	assert.Equal(t, plan.Waits[0].Limit, LimitMaxUnavailable, "the move counts as unavailable")
 }
 
 // Guards against an instance that the periodic goal misses although budgets
 // allow it, and against two periods that start at the same moment.
 func TestPeriodicGoal(t *testing.T) {
-	w := newWorld(5, 24, 3, 2, 2, model.DomainRack, 2)
+	w := newFakeFleet(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
 	set.PeriodMillis, set.MarginMillis, set.PeriodicStart = 4*clock.Day, clock.Day, w.now
-	run(t, w, FullSpeedPacer{}, NeverStop{}, set, w.now+9*clock.Day, func() {
-		for _, i := range w.inst {
+	runFleet(t, w, FullSpeedPacer{}, NeverStop{}, set, w.now+9*clock.Day, func() {
+		for _, i := range w.instances {
 			if w.now > i.MaintainedAt+set.PeriodMillis && i.MaintainedAt > 1 || w.now > 5*clock.Day && i.MaintainedAt == 1 {
 				t.Fatalf("%s was last maintained at %d, now %d", i.ID, i.MaintainedAt, w.now)
 			}
 		}
 	})
 	assert.Equal(t, len(w.violations), 0)
-	assert.Equal(t, w.late[Periodic], clock.Millis(0))
+	assert.Equal(t, w.firstUnmet[Periodic], clock.Millis(0))
 }
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -6,31 +6,32 @@
 	"camphorridge/core/state/clock"
 )
 
-// The rules of ejection.
+// Parameters of outlier ejection.
 const (
-	// failWeight and connectWeight are the weights of one sample in the score:
-	// four failures in a row or one failed connection reach ejectAbove.
+	// failWeight and connectWeight are the weights of one failed request and of
+	// one failed connection in the score. Four failures in a row or one failed
+	// connection raise the score above ejectAbove.
 	failWeight    = 0.2
 	connectWeight = 0.6
 	ejectAbove    = 0.5
-	// peerMargin is how far the score must be above twice that of the peers,
-	// ejected ones included, so that a fault that all upstreams share ejects
-	// none of them, or one when it shows as failed connections.
+	// peerMargin is the margin by which the score must exceed twice the mean score
+	// of the peers, ejected ones included. A fault that all upstreams share then
+	// ejects none of them, or only one if it causes failed connections.
 	peerMargin = 0.2
-	// An ejection lasts ejectBase, doubled with each in a row, at most
-	// ejectMost.
+	// An ejection lasts ejectBase, doubled for each consecutive ejection, up to
+	// ejectMax.
 	ejectBase = clock.Second
 	ejectMax  = 30 * clock.Second
-	// forgiveAfter is the time without an ejection after which the next one is
-	// short again.
+	// forgiveAfter is the time after the end of an ejection after which a success
+	// resets the duration of the next one to ejectBase.
 	forgiveAfter = 60 * clock.Second
-	// scoreAfterEjection is the score after an ejection: one failed connection, or
-	// three failures in a row, eject again.
+	// scoreAfterEjection is the score after an ejection. From it, one failed
+	// connection or three failures in a row eject the upstream again.
 	scoreAfterEjection = 0.25
 )
 
-// recordOutcome updates the score of an upstream and ejects it when it fails against
-// its peers.
+// recordOutcome updates the score of an upstream and ejects it if it fails more
+// than its peers. It reports whether the upstream was ejected.
 func (r *Router[P]) recordOutcome(now clock.Millis, u *Upstream, o Outcome) bool {
 	if u.ScoreResetPending && !u.Ejected(now) {
 		u.ScoreResetPending, u.Score = false, scoreAfterEjection
@@ -55,8 +56,8 @@
 	return r.eject(now, u)
 }
 
-// eject takes an upstream out unless its peers fail as well or the floor
-// would be broken: at least half of a pool's upstreams stay in.
+// eject ejects an upstream, unless its peers fail as well or less than half of
+// the pool's upstreams would stay in service. It reports whether it ejected it.
 func (r *Router[P]) eject(now clock.Millis, u *Upstream) bool {
 	g := r.upstreamsByPool[u.Pool]
 	in, peers := 0, 0.0
@@ -86,9 +87,9 @@
 	return true
 }
 
-// restoreMinimum ends ejections, the one that ends soonest first, until half of the
-// upstreams are in. It is called after an upstream left the pool, or came back
-// to it while its ejection lasts.
+// restoreMinimum ends ejections, the one that would end soonest first, until half
+// of the pool's upstreams are in service. It is called after an upstream left the
+// pool, or joined it while it was still ejected.
 func (g *poolUpstreams) restoreMinimum(now clock.Millis) {
 	for {
 		in := 0
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -6,8 +6,8 @@
 	"camphorridge/core/state/model"
 )
 
-// SetLent sets the number of own slots of an upstream that are lent, and
-// returns the number before.
+// SetLent sets the number of this process's slots of an upstream that are lent
+// to other processes, and returns the previous number.
 func (r *Router[P]) SetLent(id model.InstanceID, lent int) (before int) {
 	u := r.upstreams[id]
 	if u == nil {
@@ -19,15 +19,17 @@
 	return before
 }
 
-// PoolUpstreamSlots appends the upstreams of a pool that are not ejected, as a lender
-// sees them.
+// PoolUpstreamSlots appends to buf the slots of each upstream of the pool that is
+// not ejected, for the lender. waiting is the number of queued requests of the
+// pool.
 func (r *Router[P]) PoolUpstreamSlots(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
 	g := r.upstreamsByPool[p]
 	if g == nil {
 		return buf
 	}
 	for i := range g.members {
-		// Each call starts with another upstream, so that loans spread.
+		// The first upstream rotates with the choices of the pool, so that loans
+		// spread over the upstreams.
 		u := g.members[(i+int(g.choices%uint64(len(g.members))))%len(g.members)]
 		if !u.Ejected(now) {
 			buf = append(buf, u.slots(waiting))
@@ -36,7 +38,8 @@
 	return buf
 }
 
-// UpstreamSlots returns a routable upstream as a lender sees it.
+// UpstreamSlots returns the slots of an upstream for the lender; false if the
+// upstream is not routable.
 func (r *Router[P]) UpstreamSlots(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
 	u := r.upstreams[id]
 	if u == nil || u.Pool == "" {
@@ -56,7 +59,8 @@
 	}
 }
 
-// RotatePeaks begins a new time span for the peaks of all upstreams.
+// RotatePeaks starts a new period for the peaks of all upstreams: Peak becomes
+// PreviousPeak.
 func (r *Router[P]) RotatePeaks() {
 	for _, u := range r.upstreams {
 		u.PreviousPeak, u.Peak = u.Peak, u.Running
--- a/core/state/route/policy.go
+++ b/core/state/route/policy.go
@@ -1,20 +1,22 @@
 package route
 
-// Candidate is an upstream with room for a request.
+// Candidate is an upstream with free capacity.
 type Candidate struct {
 	Upstream *Upstream
-	// Capacity is the number of requests it may run now; above Upstream.Running.
+	// Capacity is the number of requests that the upstream may run at once now;
+	// above Upstream.Running.
 	Capacity int
 }
 
-// Policy chooses among candidates; there is at least one. turn grows by one
-// with each choice in the pool.
+// Policy chooses one of the candidates, of which there is at least one, and
+// returns its index. turn grows by one with each choice in the pool.
 type Policy interface {
 	Choose(candidates []Candidate, turn uint64) int
 }
 
-// LeastLoaded chooses the candidate whose room is used least. Among equals it
-// takes turns, so that several entry processes do not all start with the same.
+// LeastLoaded chooses the candidate with the smallest used part of its capacity.
+// Among equally loaded candidates the first one rotates, so that several entry
+// processes do not all choose the same upstream first.
 type LeastLoaded struct{}
 
 // Choose returns the index of the least loaded candidate.
@@ -34,7 +36,8 @@
 	return float64(c.Upstream.Running) / float64(c.Capacity)
 }
 
-// RoundRobin is the baseline: the candidates one after the other.
+// RoundRobin is the baseline: it chooses the candidates one after the other,
+// regardless of their load.
 type RoundRobin struct{}
 
 // Choose returns the index of the candidate whose turn it is.
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -7,42 +7,44 @@
 	"camphorridge/core/state/model"
 )
 
-// SlowStart is the time over which a newcomer reaches its whole share. A
-// process that has just started has cold caches, and the share of one entry
-// process is only a few slots, so the ramp is short.
+// SlowStart is the time over which the capacity of a new upstream grows to its
+// full share. A process that has just started has cold caches. The share of one
+// entry process is only a few slots, so a short ramp is enough.
 const SlowStart = 3 * clock.Second
 
-// Settings says which process routes.
+// Settings describe the entry process that routes.
 type Settings struct {
 	Zone model.Zone
-	// Rank and Count are the position among the entry processes of the zone
-	// and their number.
+	// Rank is the position of the process among the entry processes of the zone,
+	// from 0, and Count the number of these processes.
 	Rank, Count int
-	// Lending sets a part of each share aside for loans; ReservePercent of the
-	// slots are never lent.
+	// Lending reserves a part of each share for loans. ReservePercent of the slots
+	// are never lent.
 	Lending        bool
 	ReservePercent int
 }
 
-// Router chooses upstreams. It is not safe for use by several goroutines.
+// Router chooses upstreams and counts their requests. It is not safe for
+// concurrent use.
 type Router[P Policy] struct {
 	cfg             Settings
 	policy          P
 	upstreams       map[model.InstanceID]*Upstream
 	upstreamsByPool map[model.Pool]*poolUpstreams
-	// blocked holds the upstreams with requests of earlier generations.
+	// blocked holds the upstreams with a release that cannot be confirmed yet.
 	blocked map[model.InstanceID]*Upstream
 	// Version is the version of the table in force.
 	Version model.Version
-	// LoansUncertain says that the lendable slots may be in use under loans of an
-	// earlier run of this process.
+	// LoansUncertain is set while the lendable slots may be in use under loans
+	// that an earlier run of this process granted.
 	LoansUncertain bool
 	candidates     []Candidate
-	// ejectionsToReport lists the upstreams whose return was not reported yet.
+	// ejectionsToReport lists the upstreams whose end of ejection Restored has not
+	// reported yet.
 	ejectionsToReport []*Upstream
 }
 
-// poolUpstreams is the routable upstreams of one pool.
+// poolUpstreams holds the routable upstreams of one pool, ejected ones included.
 type poolUpstreams struct {
 	members []*Upstream
 	choices uint64
@@ -59,8 +61,9 @@
 	}
 }
 
-// SetInstance puts the table entry of an instance of any zone in force. held is
-// the version of the table before the change that brought it.
+// SetInstance adds the table entry of an instance or replaces it. Instances of
+// other zones are ignored, unless an entry or announcement of the instance is
+// known already. held is the version of the table before the change.
 func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, held model.Version) {
 	u := r.upstreams[i.ID]
 	if i.Zone != r.cfg.Zone {
@@ -70,7 +73,7 @@
 	}
 	u = r.upstream(i.ID)
 	if u.inTable && u.instance.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.instance.Pool) {
-		// An entry that passed the releasing phase unseen was released at an
+		// If the releasing phase was skipped over, the release took place at an
 		// unknown version after held.
 		released := held + 1
 		if i.Phase == model.PhaseReleasing {
@@ -82,8 +85,8 @@
 	r.update(now, u)
 }
 
-// RemoveInstance forgets the table entry of an instance. held is the version of
-// the table before the change that removed it.
+// RemoveInstance removes the table entry of an instance. held is the version of
+// the table before the change.
 func (r *Router[P]) RemoveInstance(now clock.Millis, id model.InstanceID, held model.Version) {
 	u := r.upstreams[id]
 	if u == nil {
@@ -96,12 +99,12 @@
 	r.update(now, u)
 }
 
-// SetAnnouncement puts an announcement in force; live is false once its lease
-// lapsed.
+// SetAnnouncement sets the announcement of an instance; live is false once its
+// lease has expired.
 func (r *Router[P]) SetAnnouncement(now clock.Millis, a model.Announcement, live bool) {
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.announcement.Incarnation {
-		// A new process starts with a clean record and a slow start.
+		// A new process starts with a cleared failure score and a slow start.
 		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
 	}
 	u.announcement, u.leaseHeld = a, live
@@ -117,7 +120,8 @@
 	return u
 }
 
-// release starts a new generation: the requests in flight hold up the release.
+// release starts a new generation for a release at version v. The requests in
+// flight and lent slots block its confirmation.
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
 	u.OldRunning = u.Running
@@ -129,7 +133,8 @@
 	}
 }
 
-// update derives the routable state of an upstream from its inputs.
+// update derives the shares and the pool of an upstream from its table entry and
+// its announcement.
 func (r *Router[P]) update(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
 	if r.cfg.Lending {
@@ -150,8 +155,8 @@
 	r.dropUnused(u)
 }
 
-// shares returns this process's part of the slots and connections. Both the
-// table and the announcement bound them; 0 in the table means not known.
+// shares returns this process's share of the slots and connections. Both the
+// table and the announcement limit them; 0 in the table means unknown.
 func (r *Router[P]) shares(u *Upstream) (slots, conns int) {
 	slots, conns = u.announcement.Slots, u.announcement.Connections
 	if u.instance.Slots > 0 {
@@ -187,31 +192,31 @@
 	}
 }
 
-// dropUnused drops an upstream that neither table nor roster names and that has
-// nothing in flight.
+// dropUnused drops an upstream that is not in the table, holds no lease and has no
+// requests in flight or lent slots.
 func (r *Router[P]) dropUnused(u *Upstream) {
 	if !u.inTable && !u.leaseHeld && u.Running == 0 && u.Lent == 0 {
 		delete(r.upstreams, u.Instance)
 	}
 }
 
-// Reservation is a reserved slot: the upstream with its generation and incarnation at
-// the time of the Pick.
+// Reservation is a reserved slot: the upstream with its generation and incarnation
+// at the time of Reserve.
 type Reservation struct {
 	Upstream    *Upstream
 	Generation  uint32
 	Incarnation uint64
 }
 
-// Reserve reserves a slot of an upstream of the pool; ok is false when none has
-// room. The upstream to avoid is taken only when no other has room.
+// Reserve reserves a slot of an upstream of the pool; ok is false if none has free
+// capacity. The upstream to avoid is chosen only if no other has free capacity.
 func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
 	g := r.upstreamsByPool[p]
 	if g == nil || len(g.members) == 0 {
 		return Reservation{}, false
 	}
 	r.candidates = r.candidates[:0]
-	var last *Upstream
+	var chosen *Upstream
 	warm := g.hasWarmUpstream(now)
 	for _, u := range g.members {
 		n := r.capacity(now, u, warm)
@@ -219,24 +224,25 @@
 			continue
 		}
 		if u.Instance == avoid {
-			last = u
+			chosen = u
 			continue
 		}
 		r.candidates = append(r.candidates, Candidate{Upstream: u, Capacity: n})
 	}
 	if len(r.candidates) > 0 {
-		last = r.candidates[r.policy.Choose(r.candidates, g.choices)].Upstream
+		chosen = r.candidates[r.policy.Choose(r.candidates, g.choices)].Upstream
 		g.choices++
 	}
-	if last == nil {
+	if chosen == nil {
 		return Reservation{}, false
 	}
-	last.Running++
-	last.Peak = max(last.Peak, last.Running)
-	return Reservation{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
+	chosen.Running++
+	chosen.Peak = max(chosen.Peak, chosen.Running)
+	return Reservation{Upstream: chosen, Generation: chosen.Generation, Incarnation: chosen.Incarnation}, true
 }
 
-// Restored appends the upstreams whose ejection has ended since the last call.
+// Restored appends to buf the upstreams whose ejection has ended since the last
+// call.
 func (r *Router[P]) Restored(now clock.Millis, buf []*Upstream) []*Upstream {
 	kept := r.ejectionsToReport[:0]
 	for _, u := range r.ejectionsToReport {
@@ -251,14 +257,15 @@
 	return buf
 }
 
-// CancelReservation gives back a reservation that was not used.
+// CancelReservation releases a reserved slot that was not used.
 func (r *Router[P]) CancelReservation(h Reservation) {
 	h.Upstream.Running--
 	r.dropUnused(h.Upstream)
 }
 
-// hasWarmUpstream reports whether some upstream is past its slow start. Without one, as
-// after a start of this process, nobody is held back.
+// hasWarmUpstream reports whether an upstream of the pool is in service and past
+// its slow start. If there is none, as after a start of this process, slow start
+// limits no upstream.
 func (g *poolUpstreams) hasWarmUpstream(now clock.Millis) bool {
 	for _, u := range g.members {
 		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
@@ -268,7 +275,7 @@
 	return false
 }
 
-// capacity returns the number of requests an upstream may run now.
+// capacity returns the number of requests that an upstream may run at once now.
 func (r *Router[P]) capacity(now clock.Millis, u *Upstream, warm bool) int {
 	if u.Ejected(now) {
 		return 0
@@ -310,9 +317,10 @@
 	return len(g.members), slots
 }
 
-// End gives a slot back and reports whether the upstream was ejected by this
-// outcome. The outcome of a request to an earlier process of the upstream says
-// nothing of the present one.
+// End releases the slot of a finished request and reports whether its outcome
+// ejected the upstream. Outcomes of requests to an earlier generation or
+// incarnation of the upstream are ignored, because they say nothing about the
+// present process.
 func (r *Router[P]) End(now clock.Millis, h Reservation, o Outcome) (ejected bool) {
 	u := h.Upstream
 	u.Running--
@@ -327,7 +335,8 @@
 	return ejected
 }
 
-// unblock ends the hold-up of a release once nothing uses the instance.
+// unblock lets a release be confirmed once no earlier request and no loan uses the
+// instance.
 func (r *Router[P]) unblock(u *Upstream) {
 	if u.OldRunning == 0 && u.Lent == 0 {
 		u.BlockedRelease = 0
@@ -335,11 +344,10 @@
 	}
 }
 
-// DrainedVersion returns the highest version of the table such that no request in
-// flight and no loan uses an instance released at or below it; 0 in quarantine.
-// When an instance was routable
-// again before all earlier requests had ended, which control never allows, the
-// result can be lower than that.
+// DrainedVersion returns the highest table version such that no request in flight
+// and no loan uses an instance released at or below it; 0 while LoansUncertain is
+// set. The result can be lower if an instance became routable again before all
+// earlier requests had ended, which the control group never allows.
 func (r *Router[P]) DrainedVersion() model.Version {
 	if r.LoansUncertain {
 		return 0
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -5,10 +5,10 @@
 	"camphorridge/core/state/model"
 )
 
-// Outcome is how a request on an upstream ended.
+// Outcome is the result of a request on an upstream.
 type Outcome int
 
-// The outcomes.
+// The outcomes of a request.
 const (
 	// OutcomeOK: a whole response came back.
 	OutcomeOK Outcome = iota
@@ -22,15 +22,15 @@
 	OutcomeConnect
 	// OutcomeBusy: the upstream answered that it did not run the request.
 	OutcomeBusy
-	// OutcomeCancelled: the caller gave up; says nothing of the upstream.
+	// OutcomeCancelled: the caller gave up, which is not a fault of the upstream.
 	OutcomeCancelled
 )
 
-// Upstream is one instance as this process sees it.
+// Upstream is the state of one instance in this process.
 type Upstream struct {
 	Instance model.InstanceID
-	// Pool is the pool that table and announcement agree on; empty while
-	// they do not.
+	// Pool is the pool in which the upstream is routable; empty while it is not
+	// routable in any.
 	Pool        model.Pool
 	Address     string
 	Incarnation uint64
@@ -38,49 +38,55 @@
 	// Slots and Connections are this process's share.
 	Slots       int
 	Connections int
-	// Lendable is the part of Slots that may be lent, and PerSlot the number of
-	// connections, apart from Connections, that go with each of them. Both are 0
-	// while lending is off.
+	// Lendable is the number of Slots that may be lent. ConnectionsPerSlot is the
+	// number of connections that go with each lent slot; they are not included in
+	// Connections. Both are 0 while lending is off.
 	Lendable           int
 	ConnectionsPerSlot int
-	// Lent is the number of own slots that others may use; it holds up a
-	// release like requests in flight.
+	// Lent is the number of this process's slots that other processes may use.
+	// Like requests in flight, lent slots delay the confirmation of a release.
 	Lent int
-	// Peak is the largest number of requests in flight since the last Roll, and
-	// PreviousPeak that of the time before it.
+	// Peak is the largest number of requests in flight since the last call of
+	// RotatePeaks, and PreviousPeak the largest number in the period before.
 	Peak, PreviousPeak int
 	// Running is the number of requests in flight, of all generations.
 	Running int
 	// Generation grows each time the instance is released from a pool.
 	Generation uint32
-	// OldRunning is the number of requests in flight of earlier generations.
+	// OldRunning is the number of requests in flight that belong to earlier
+	// generations.
 	OldRunning int
-	// BlockedRelease is the table version of the release that Old requests or Lent
-	// slots hold up; 0 when both are 0.
+	// BlockedRelease is the table version of the earliest release that cannot be
+	// confirmed yet because of OldRunning or Lent; 0 if both are 0.
 	BlockedRelease model.Version
-	// RoutableSince is the time at which the upstream became routable.
+	// RoutableSince is the time at which the upstream became routable or at which
+	// its last ejection ends. Its slow start begins then.
 	RoutableSince clock.Millis
-	// Score is the smoothed share of failures, from 0 to 1.
+	// Score is the smoothed failure rate, from 0 to 1.
 	Score float64
-	// EjectedUntil is in the future while the upstream is ejected.
+	// EjectedUntil is the end of the last ejection; in the future while the
+	// upstream is ejected.
 	EjectedUntil clock.Millis
-	// ScoreResetPending says that Score is still that of the ejection, for comparison
-	// with peers; it is lowered with the first outcome afterwards.
+	// ScoreResetPending is set while Score is still the score that led to the
+	// ejection. It is kept for the comparison with peers and reset by the first
+	// outcome after the ejection.
 	ScoreResetPending bool
-	// ConsecutiveEjections is the number of ejections in a row; it sets their length.
+	// ConsecutiveEjections determines the duration of the next ejection.
 	ConsecutiveEjections int
-	// instance, member and lapsed are the inputs of routable.
+	// instance, inTable, announcement and leaseHeld are the inputs of
+	// routablePool.
 	instance     model.Instance
 	inTable      bool
 	announcement model.Announcement
 	leaseHeld    bool
 }
 
-// Ejected reports whether the upstream is ejected at a time.
+// Ejected reports whether the upstream is ejected at the given time.
 func (u *Upstream) Ejected(now clock.Millis) bool { return u.EjectedUntil > now }
 
-// routablePool returns the pool that the upstream may serve, or "". The table and
-// the announcement must agree, and the lease must hold.
+// routablePool returns the pool in which the upstream is routable, or "". The
+// instance must be serving, the table and the announcement must agree on zone and
+// pool, and the lease must not have expired.
 func (u *Upstream) routablePool(zone model.Zone) model.Pool {
 	ok := u.inTable && u.leaseHeld &&
 		u.instance.Phase == model.PhaseServing && u.instance.Zone == zone &&
