--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against shares that add up to more, or to less, than the contract.
+// Guards against shares that do not add up to the total of the contract.
 func TestSharesAddUpToTheTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := rapid.IntRange(0, 10_000).Draw(t, "total")
@@ -36,7 +36,8 @@
 	assert.Equal(t, Share(10, rank, count), 0)
 }
 
-// Guards against a contract whose limit is not derived from its promise.
+// Guards against a limit that is not derived from the promised instances of the
+// contract.
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
@@ -45,8 +46,8 @@
 	assert.Equal(t, LimitOf(c, slots).MaxInFlight, 5)
 }
 
-// world runs a gate against a pool with a number of slots and keeps its own
-// account of who runs and waits.
+// world runs a controller against a pool with a number of slots, and tracks the
+// running and waiting requests independently of it.
 type world struct {
 	g       *Controller[WeightedFair, int]
 	slots   int
@@ -82,8 +83,8 @@
 	}
 }
 
-// Guards against more in flight or waiting than a share, expired or cancelled
-// requests that run, and requests that are lost or kept for ever.
+// Guards against more requests in flight or waiting than a share allows, expired or
+// cancelled requests that run, and requests that are lost or never removed.
 func TestGateKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
@@ -153,8 +154,8 @@
 	})
 }
 
-// share runs a pool of one slot under a flood of a and a few of b, and returns
-// how many of each were started in n starts.
+// share runs a pool of one slot with a flood of requests of customer a and a few of
+// customer b. It returns how many of n started requests belong to each of them.
 func share[P Picker](picker P, weightA, weightB, n int) (a, b int) {
 	g := New[P, model.Customer](picker)
 	pools := []model.PoolShare{{Pool: "p"}}
@@ -182,7 +183,7 @@
 	return a, b
 }
 
-// Guards against a flood of one customer that starves another.
+// Guards against a flood of requests of one customer that starves another.
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
@@ -194,15 +195,16 @@
 	assert.Assert(t, b < 10, "the baseline is expected to starve b, which got %d", b)
 }
 
-// Guards against waiting for something that cannot come in time, and against
-// refusing what can.
-func TestDeadlineDecidesAtTheDoor(t *testing.T) {
+// Guards against queueing a request that cannot end before its deadline, and
+// against refusing one that can.
+func TestEnqueueChecksDeadline(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
 	l, _ := g.Queue("a", "p")
 	g.Start(l)
 	g.End(l, 100)
-	// Two slots at 100 ms: a place in the queue every 50 ms, and an eighth more.
+	// Two slots at 100 ms per request: the estimated wait grows by 50 ms with each
+	// waiter, plus a margin of an eighth.
 	for k := range 4 {
 		need := clock.Millis(50*(k+1)*9/8 + 100)
 		_, why := g.Enqueue(0, need, l, 2, k)
@@ -216,7 +218,7 @@
 	assert.Equal(t, w.Ref, 1)
 }
 
-// Guards against a few long requests that keep all short ones from waiting.
+// Guards against a few long requests that keep all short ones from being queued.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
@@ -234,7 +236,7 @@
 	assert.Equal(t, why, ReasonNone)
 }
 
-// Guards against retries that multiply the load.
+// Guards against more retries than RetryPercent of the first attempts, plus one.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
@@ -255,7 +257,7 @@
 	})
 }
 
-// Guards against forgetting what a removed contract still has in flight.
+// Guards against losing count of the requests in flight of a removed contract.
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -23,12 +23,12 @@
 	return rapid.SampledFrom(from).Draw(t, label)
 }
 
-// near draws the version that a change is based on: mostly the current one.
+// near draws the base version of a change: mostly the current version.
 func near(t *rapid.T, current model.Version) model.Version {
 	return pick(t, "base", current, current, current, 0, current+1)
 }
 
-// anyChange draws a change over few names, so that changes meet each other.
+// anyChange draws a change of one of a few objects, so that changes conflict often.
 func anyChange(t *rapid.T, s *fleet.State) model.Change {
 	c := model.Change{
 		Kind:    model.ChangeKind(pick(t, "kind", 0, 1, 2, 3, 4, 5, 5, 5, 5, 6, 6, 7, 7)),
@@ -76,8 +76,8 @@
 	}}
 }
 
-// checkPools fails when a change broke the rule that an instance belongs to
-// one pool and leaves it only by a release, or lowered a version.
+// checkPools checks that a change lowered no version, and that no instance changed
+// its pool or left it without a release.
 func checkPools(t *rapid.T, before, after model.Table) {
 	assert.Assert(t, after.Version >= before.Version)
 	for _, is := range after.Instances {
@@ -99,14 +99,14 @@
 	}
 }
 
-// claimLog follows which attempt holds a key, apart from the state machine.
+// claimLog tracks which attempt holds a key, independently of the state machine.
 type claimLog struct {
 	holder map[model.ClaimKey]string
 	closed map[model.ClaimKey]bool
 }
 
-// check fails when a key is granted while another attempt holds it, or after
-// its request ended.
+// check fails if a key is granted while another attempt holds it or after its
+// request has ended.
 func (l *claimLog) check(t *rapid.T, c model.Change, r model.Result) {
 	for i, a := range r.Claims {
 		if k := c.Claims[i]; a.Granted {
@@ -126,10 +126,10 @@
 	}
 }
 
-// TestReplicasStayEqual guards against replicas that differ: after the same
-// changes, with one of them restored from a snapshot at any point, and for a
-// reader that follows by deltas. Each change is also checked against the
-// rules on pools, versions, resends and claims.
+// TestReplicasStayEqual guards against replicas that differ after the same changes
+// when one of them is restored from a snapshot at any point, and against a reader
+// whose table differs after applying deltas. It also checks each change against the
+// rules for pools, versions, resends and claims.
 func TestReplicasStayEqual(t *testing.T) {
 	var wire codec.Codec
 	rapid.Check(t, func(t *rapid.T) {
@@ -169,8 +169,8 @@
 	})
 }
 
-// TestRacingChanges guards against two changes on equal base versions that
-// are both applied, or a loser that is not told who won.
+// TestRacingChanges guards against applying two changes with the same base version,
+// and against a conflict that does not name its winner.
 func TestRacingChanges(t *testing.T) {
 	apply := func(base model.Version, queue int) model.Change {
 		return model.Change{Kind: model.ChangeContractApply, Base: base, Contract: model.Contract{Customer: "x", Queue: queue}}
@@ -216,9 +216,9 @@
 	}
 }
 
-// TestRefusedSteps guards against the batches and steps that would move an
-// instance without a release, bring a retired one back, or let one step hide
-// another.
+// TestRefusedSteps guards against steps that move an instance without a release or
+// return a retired one to service, and against two steps for the same instance in
+// one batch.
 func TestRefusedSteps(t *testing.T) {
 	at := func(pool, target model.Pool, phase model.Phase) model.Instance {
 		return model.Instance{ID: "i", Zone: "z", Pool: pool, Target: target, Phase: phase}
@@ -267,8 +267,8 @@
 	assert.Equal(t, len(s.Instances), 0)
 }
 
-// TestBounds guards against growth over months of removals, replacements and
-// table changes.
+// TestBounds guards against a state that grows without bound over many removals,
+// replacements and table changes.
 func TestBounds(t *testing.T) {
 	s := fleet.New()
 	put := func(c model.Change) { assert.Equal(t, s.Apply(s.Index+1, c).Kind, model.ResultApplied) }
@@ -303,8 +303,8 @@
 	assert.Assert(t, !fleet.Merge(&late, model.Delta{To: 1, Full: true}), "a table never goes down")
 }
 
-// Guards against a request of a process that died which stays "running", and
-// against one of the present run that is declared unknown.
+// Guards against a claim that stays running after its process has died, and against
+// a claim of the present incarnation that becomes unknown.
 func TestNewRunEndsEarlierRequests(t *testing.T) {
 	s := fleet.New()
 	key := func(k string) model.ClaimKey { return model.ClaimKey{Customer: "acme", Service: "merge", Key: k} }
--- a/core/state/fleet/expiring_map_test.go
+++ b/core/state/fleet/expiring_map_test.go
@@ -9,10 +9,10 @@
 	"camphorridge/core/state/clock"
 )
 
-// TestMemoryBounds guards against a memory that outgrows its limit, that
-// forgets in another order than that of the Puts, or whose bookkeeping grows
-// with removed keys while an old key stays.
-func TestMemoryBounds(t *testing.T) {
+// TestExpiringMapBounds guards against a map that exceeds its limit, that drops
+// keys in another order than that of the Puts, or whose list of keys grows with
+// removed keys while an old key stays at its front.
+func TestExpiringMapBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewExpiringMap[int, int](5, 100)
 		now := clock.Millis(0)
--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -8,10 +8,10 @@
 	"camphorridge/core/state/model"
 )
 
-// maintenanceShortfalls states every deadline that the disruption budgets exclude:
-// those of declarations and that of the periodic goal. In pools that the
-// customer shares with another one, the budget of either bounds maintenance,
-// so the other's deadlines are stated too.
+// maintenanceShortfalls returns a shortfall for every maintenance deadline that the
+// disruption limits make impossible to meet, for declarations and for periodic
+// maintenance. In pools shared with another customer, the limits of either
+// customer restrict maintenance, so those of the other are checked too.
 func maintenanceShortfalls(set Settings, q Input) []Shortfall {
 	var out []Shortfall
 	own := poolsOf(q.Contract)
@@ -42,8 +42,8 @@
 	return pools
 }
 
-// countDue counts the instances of the pools that a declaration still has to
-// reach.
+// countDue returns the number of instances of the pools that still have to be
+// maintained for a declaration.
 func countDue(f Fleet, m model.Maintenance, pools map[model.Pool]bool) int {
 	n := 0
 	for _, i := range f.Instances {
@@ -54,6 +54,8 @@
 	return n
 }
 
+// deadlineShortfalls returns the shortfalls of contract c if n instances have to be
+// maintained in the time left. name becomes the subject of the shortfalls.
 func deadlineShortfalls(set Settings, q Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
 	if have := allowedByMaxUnavailable(set, q.Fleet, c, left); int64(n) > have {
@@ -73,10 +75,11 @@
 	return out
 }
 
-// allowedByMaxUnavailable is the number of maintenances that max-unavailable allows in the
-// time left. It is an upper bound: unplanned losses use the same allowance.
-// Never two failure domains are disrupted at once, so the width is also
-// bounded by the largest domain of the covered kind.
+// allowedByMaxUnavailable returns the number of maintenances that max-unavailable
+// allows in the time left. It is an upper bound, because unplanned losses also
+// count against max-unavailable. Two failure domains are never disrupted at once,
+// so the number of concurrent maintenances is also limited by the size of the
+// largest domain of the covered kind.
 func allowedByMaxUnavailable(set Settings, f Fleet, c model.Contract, left clock.Millis) int64 {
 	if left <= 0 {
 		return 0
@@ -89,8 +92,8 @@
 	return int64(left/max(set.MaintenanceMillis, 1)) * width
 }
 
-// allowedByBudget is the number of maintenances that the window budget allows in the
-// time left: a full budget at the start and one more after each window.
+// allowedByBudget returns the number of maintenances that the window budget allows
+// in the time left: one full budget for each window that has started.
 func allowedByBudget(set Settings, c model.Contract, left clock.Millis) int64 {
 	if c.WindowMillis == 0 {
 		return Unbounded
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -8,10 +8,10 @@
 	"camphorridge/core/state/model"
 )
 
-// Name names a limit.
+// Name is the name of a limit.
 type Name string
 
-// The limits that a contract leads to.
+// The limits derived from a contract.
 const (
 	Concurrency    Name = "concurrency"
 	Queue          Name = "queue"
@@ -24,25 +24,27 @@
 	Accelerators   Name = "accelerators"
 )
 
-// Rule names how a limit follows from its figures.
+// Rule is the name of the rule by which a limit follows from its operands.
 type Rule string
 
 // The rules of derivation.
 const (
-	// RuleRequested: the contract's own figure.
+	// RuleRequested: the value that the contract requests.
 	RuleRequested Rule = "as asked"
-	// RuleSlots: the sum over the promised pools of instances times slots.
+	// RuleSlots: instances times slots per instance, summed over the promised
+	// pools.
 	RuleSlots Rule = "promised instances x slots"
 	// RulePercent: a percentage of the concurrency, rounded down, so that
 	// retries never exceed the promised share.
 	RulePercent Rule = "percent of concurrency"
 	// RuleNoWindow: no window is set, so time out of service is unbounded.
 	RuleNoWindow Rule = "no window"
-	// RuleAllInstances: at most all instances of the customer can be unavailable.
+	// RuleAllInstances: the number of instances of the customer, since no more can
+	// be unavailable.
 	RuleAllInstances Rule = "at most all instances"
 )
 
-// Operand is a number that a derivation used.
+// Operand is a number used in a derivation.
 type Operand struct {
 	Name  string
 	Value int64
@@ -51,26 +53,26 @@
 // Limit is a derived limit together with its derivation.
 type Limit struct {
 	Name Name
-	// Requested is the contract's own figure; 0 leaves the limit to the rule.
+	// Requested is the value in the contract; 0 leaves the value to the rule.
 	Requested int64
 	Value     int64
 	Rule      Rule
-	// Operands lists what the rule used, in the order of its use.
+	// Operands lists the numbers that the rule used, in the order of their use.
 	Operands []Operand
 }
 
-// Unbounded is the value of a limit that bounds nothing.
+// Unbounded is the value of a limit that does not restrict anything.
 const Unbounded = int64(1) << 62
 
-// Fleet is what the limits need to know about the machines.
+// Fleet describes the machines that limits are derived from.
 type Fleet struct {
-	// Instances must be sorted by ID, without retired ones.
+	// Instances must be sorted by ID and contain no retired instances.
 	Instances []model.Instance
 	// WorkerResources is the sum of all workers' resources.
 	WorkerResources model.Quota
 }
 
-// NewFleet sorts the instances that are part of the fleet.
+// NewFleet returns the fleet of the instances that are not retired.
 func NewFleet(instances map[model.InstanceID]model.Instance, workers model.Quota) Fleet {
 	f := Fleet{WorkerResources: workers, Instances: make([]model.Instance, 0, len(instances))}
 	for _, i := range instances {
@@ -84,7 +86,7 @@
 	return f
 }
 
-// Set is every limit of one customer.
+// Set holds all limits of one customer.
 type Set struct {
 	Customer       model.Customer
 	Concurrency    Limit
@@ -98,7 +100,7 @@
 	Accelerators   Limit
 }
 
-// All lists the limits in a fixed order.
+// All returns the limits in a fixed order.
 func (s Set) All() []Limit {
 	return []Limit{
 		s.Concurrency, s.Queue, s.Retries, s.MaxUnavailable, s.Budget,
@@ -106,13 +108,13 @@
 	}
 }
 
-// SlotsPolicy is the policy that says how many slots one instance of a pool counts
-// for. The slots of the pool's instances come in ascending order.
+// SlotsPolicy decides how many slots one instance of a pool counts for. slots
+// holds the slots of the pool's instances in ascending order.
 type SlotsPolicy interface {
 	PerInstance(slots []int) int
 }
 
-// Derive returns every limit that the contract leads to.
+// Derive returns all limits that follow from the contract.
 func Derive[P SlotsPolicy](policy P, c model.Contract, f Fleet) Set {
 	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
 	s.Queue = requested(Queue, c.Queue)
@@ -137,8 +139,8 @@
 	return s
 }
 
-// PromisedInstances is the number of instances that a contract promises, without its
-// spare.
+// PromisedInstances returns the number of instances that a contract promises,
+// without its spare instances.
 func PromisedInstances(c model.Contract) int {
 	n := 0
 	for _, p := range c.Pools {
@@ -182,9 +184,9 @@
 	return l
 }
 
-// slotsOf returns the slots of the pool's instances in ascending order; those
-// of the whole fleet while the pool is empty, since instances will be moved
-// to it from there.
+// slotsOf returns the slots of the pool's instances in ascending order. For an
+// empty pool it returns those of the whole fleet, because instances will be moved
+// to the pool from there.
 func slotsOf(f Fleet, pool model.Pool) []int {
 	var own, all []int
 	for _, i := range f.Instances {
--- a/core/state/limits/evaluate.go
+++ b/core/state/limits/evaluate.go
@@ -10,41 +10,43 @@
 	"camphorridge/core/state/model"
 )
 
-// ShortfallKind tells the shortfalls apart.
+// ShortfallKind is the kind of a shortfall.
 type ShortfallKind string
 
 // The kinds of shortfall.
 const (
 	// ShortfallInvalid: the contract contradicts itself.
 	ShortfallInvalid ShortfallKind = "form"
-	// ShortfallInstances: more instances are promised and reserved than owned.
+	// ShortfallInstances: all contracts together promise and reserve more instances
+	// than the fleet owns.
 	ShortfallInstances ShortfallKind = "instances"
 	// ShortfallSpare: the spare is smaller than the loss of the largest failure
 	// domain that the contract covers.
 	ShortfallSpare ShortfallKind = "spare"
-	// ShortfallMaxUnavailable: the instances cannot all be maintained by a deadline with
-	// max-unavailable at once.
+	// ShortfallMaxUnavailable: max-unavailable is too low to maintain all instances
+	// by a deadline.
 	ShortfallMaxUnavailable ShortfallKind = "max-unavailable"
 	// ShortfallBudget: the window budget allows too few maintenances before a
 	// deadline.
 	ShortfallBudget ShortfallKind = "budget"
-	// ShortfallQuota: the quotas of all customers exceed the workers.
+	// ShortfallQuota: the quotas of all customers exceed the workers' resources.
 	ShortfallQuota ShortfallKind = "quota"
-	// ShortfallSlots: the concurrency asked exceeds what the instances hold.
+	// ShortfallSlots: the requested concurrency exceeds the slots of the promised
+	// instances.
 	ShortfallSlots ShortfallKind = "slots"
 )
 
-// Shortfall is one way in which the fleet falls short of a contract.
+// Shortfall is one respect in which the fleet cannot satisfy a contract.
 type Shortfall struct {
 	Kind ShortfallKind
-	// Subject is what falls short: a zone, a rack, a declaration, a resource.
+	// Subject names what falls short: a zone, a rack, a declaration, a resource.
 	Subject   string
 	Required  int64
 	Available int64
 	Text      string
 }
 
-// Decision is the outcome of a judgement.
+// Decision is the decision about a contract.
 type Decision string
 
 // The decisions.
@@ -54,13 +56,14 @@
 	Refuse              Decision = "refuse"
 )
 
-// Evaluation is a decision with every shortfall found.
+// Evaluation is the decision about a contract with all shortfalls found.
 type Evaluation struct {
 	Decision   Decision
 	Shortfalls []Shortfall
 }
 
-// Err returns the refusal as an error of KindShort; nil for an acceptance.
+// Err returns a refusal as an *Error of KindRefused that lists the shortfalls; nil
+// if the contract was accepted.
 func (v Evaluation) Err() error {
 	if v.Decision != Refuse {
 		return nil
@@ -72,29 +75,29 @@
 	return &Error{Op: "judge contract", Kind: KindRefused, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
 }
 
-// Settings are the figures that a judgement assumes.
+// Settings are the assumptions of an evaluation.
 type Settings struct {
 	// MaintenanceMillis is how long one instance is out of service for one
 	// maintenance; at least 1.
 	MaintenanceMillis clock.Millis
 	// PeriodMillis is the time within which every instance must be maintained
-	// once; 0 turns the goal off.
+	// once; 0 disables periodic maintenance.
 	PeriodMillis clock.Millis
 }
 
-// Input is a contract to be judged and what surrounds it.
+// Input is a contract to evaluate and the state to evaluate it against.
 type Input struct {
 	Contract model.Contract
-	// Others holds every other accepted contract; an entry of the same
-	// customer is ignored.
+	// Others holds all other accepted contracts; a contract of the same customer
+	// is ignored.
 	Others       []model.Contract
 	Fleet        Fleet
 	Declarations []model.Maintenance
 	Now          clock.Millis
 }
 
-// Evaluate decides on a contract. Nothing that falls short is left out of the
-// verdict.
+// Evaluate decides whether to accept a contract. The evaluation contains all
+// shortfalls; a contract that contradicts itself is not checked further.
 func Evaluate[S RefusalPolicy, P SlotsPolicy](severity S, slots P, set Settings, q Input) Evaluation {
 	var v Evaluation
 	if err := Validate(q.Contract); err != nil {
@@ -145,9 +148,10 @@
 	}}
 }
 
-// spareShortfalls compares the spare with the loss of the worst covered domain
-// under the best possible spread. The domain's spare instances are lost with
-// it, so the spare must hold as many as the customer has in the domain.
+// spareShortfalls compares the number of spare instances with the loss of the
+// largest covered failure domain, if the instances are spread as evenly as
+// possible. Spare instances in the domain are lost with it, so the spare must be at
+// least as large as the number of the customer's instances in the domain.
 func spareShortfalls(q Input) []Shortfall {
 	c := q.Contract
 	total := PromisedInstances(c) + c.Spare
@@ -168,7 +172,8 @@
 	n    int
 }
 
-// domainSizes counts instances by domain, in ascending order of names.
+// domainSizes returns the number of instances in each domain of a kind, in
+// ascending order of the domain names.
 func domainSizes(f Fleet, d model.FailureDomain) []domainSize {
 	count := map[string]int{}
 	for _, i := range f.Instances {
@@ -182,7 +187,7 @@
 	return sizes
 }
 
-// DomainOf names the failure domain of that kind which holds the instance.
+// DomainOf returns the name of the instance's failure domain of the given kind.
 func DomainOf(i model.Instance, d model.FailureDomain) string {
 	switch d {
 	case model.DomainZone:
@@ -194,20 +199,20 @@
 	}
 }
 
-// smallestMaxLoad is the smallest possible count in the fullest domain when total
-// instances are spread over the domains, and the name of a domain that is
-// filled to it.
+// smallestMaxLoad returns the number of instances in the fullest domain when total
+// instances are spread over the domains as evenly as possible, and the name of a
+// domain that can hold as many.
 func smallestMaxLoad(sizes []domainSize, total int) (load int, name string) {
 	largest := 0
 	for _, s := range sizes {
 		largest = max(largest, s.n)
 	}
 	for load = 0; load < largest; load++ {
-		room := 0
+		capacity := 0
 		for _, s := range sizes {
-			room += min(s.n, load)
+			capacity += min(s.n, load)
 		}
-		if room >= total {
+		if capacity >= total {
 			break
 		}
 	}
@@ -219,11 +224,12 @@
 	return load, ""
 }
 
-// slotShortfalls states a concurrency that the promised instances cannot run.
+// slotShortfalls returns a shortfall if the requested concurrency exceeds the slots
+// of the promised instances.
 func slotShortfalls[P SlotsPolicy](slots P, q Input) []Shortfall {
-	open := q.Contract
-	open.Concurrency = 0
-	have := concurrency(slots, open, q.Fleet).Value
+	bySlots := q.Contract
+	bySlots.Concurrency = 0
+	have := concurrency(slots, bySlots, q.Fleet).Value
 	if int64(q.Contract.Concurrency) <= have {
 		return nil
 	}
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -12,8 +12,9 @@
 	"camphorridge/core/state/model"
 )
 
-// fleetOf makes n instances with 8 slots, round-robin over three zones and
-// four to a rack, all in pool "logs" but the last spare ones.
+// fleetOf returns a fleet of n instances with 8 slots each, distributed round-robin
+// over three zones with four to a rack. The last spare instances are in pool
+// "portal", all others in pool "logs".
 func fleetOf(n, spare int) Fleet {
 	m := map[model.InstanceID]model.Instance{}
 	for k := range n {
@@ -37,7 +38,7 @@
 	}
 }
 
-// Guards against a derived limit whose figures do not lead to its value.
+// Guards against a derived limit whose value does not follow from its operands.
 func TestDeriveKeepsDerivation(t *testing.T) {
 	s := Derive(MinSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
 	assert.Equal(t, s.Concurrency.Value, int64(336))
@@ -48,8 +49,8 @@
 	assert.Equal(t, len(s.All()), 9)
 }
 
-// Guards against a shortfall that goes unstated or has the wrong numbers.
-func TestJudgeStatesShortfalls(t *testing.T) {
+// Guards against a shortfall that is not reported or has the wrong numbers.
+func TestEvaluateReportsShortfalls(t *testing.T) {
 	set := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
 	rebase := func(f func(*Input)) Input {
 		q := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
@@ -98,8 +99,9 @@
 	}
 }
 
-// Guards against an acceptance without a stated shortfall where an exhaustive
-// search finds no spread that survives the loss of a zone.
+// Guards against a spare shortfall that is not reported although an exhaustive
+// search finds no spread of the instances that survives the loss of a zone, and
+// against one that is reported although there is such a spread.
 func TestSpareShortfallAgainstExhaustiveSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 12).Draw(t, "n")
@@ -120,8 +122,8 @@
 	})
 }
 
-// BenchmarkSlots reports what each policy admits on pools with uneven slots
-// and by how much that exceeds the smallest instances.
+// BenchmarkSlots reports the concurrency that each slots policy admits for a pool
+// with uneven instances, and by how much it exceeds that of the smallest instances.
 func BenchmarkSlots(b *testing.B) {
 	f := fleetOf(50, 8)
 	for k := range f.Instances {
@@ -144,9 +146,9 @@
 	})
 }
 
-// BenchmarkSeverity reports how each policy judges 300 contracts of one to
-// sixty instances, and how many it accepts that need more instances than are
-// owned.
+// BenchmarkSeverity reports how each refusal policy decides on 300 contracts of one
+// to sixty instances, and how many of those that it accepts need more instances
+// than the fleet owns.
 func BenchmarkSeverity(b *testing.B) {
 	judged(b, "stated", RefuseImpossible{})
 	judged(b, "strict", RefuseAny{})
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -1,10 +1,10 @@
 package limits
 
-// MinSlots counts every instance of a pool like its smallest one, so that
-// the concurrency fits whichever instances are in service.
+// MinSlots counts every instance with the slots of the smallest one of its pool, so
+// that the concurrency fits whichever instances are in service.
 type MinSlots struct{}
 
-// PerInstance returns the smallest number.
+// PerInstance returns the smallest number of slots; 0 for an empty list.
 func (MinSlots) PerInstance(slots []int) int {
 	if len(slots) == 0 {
 		return 0
@@ -12,12 +12,12 @@
 	return slots[0]
 }
 
-// MeanSlots counts every instance like the mean of its pool, rounded down. It
-// admits more than LowestSlots and may exceed what the smallest instances
-// hold.
+// MeanSlots counts every instance with the mean slots of its pool, rounded down. It
+// admits more requests than MinSlots and may exceed the slots of the smallest
+// instances.
 type MeanSlots struct{}
 
-// PerInstance returns the mean.
+// PerInstance returns the mean number of slots; 0 for an empty list.
 func (MeanSlots) PerInstance(slots []int) int {
 	if len(slots) == 0 {
 		return 0
@@ -38,13 +38,14 @@
 // PerInstance returns N.
 func (p FixedSlots) PerInstance([]int) int { return p.N }
 
-// RefusalPolicy is the policy that says which shortfalls refuse a contract.
+// RefusalPolicy decides which shortfalls lead to the refusal of a contract.
 type RefusalPolicy interface {
 	Refuses(Shortfall) bool
 }
 
-// RefuseImpossible refuses a contract that contradicts itself or takes instances that
-// are not owned. Every other shortfall is stated and the contract accepted.
+// RefuseImpossible refuses a contract that contradicts itself or needs more
+// instances than the fleet owns. With any other shortfall the contract is accepted
+// and the shortfall reported.
 type RefuseImpossible struct{}
 
 // Refuses reports whether s makes the contract impossible.
@@ -52,14 +53,14 @@
 	return s.Kind == ShortfallInvalid || s.Kind == ShortfallInstances
 }
 
-// RefuseAny refuses a contract with any shortfall.
+// RefuseAny refuses a contract that has any shortfall.
 type RefuseAny struct{}
 
 // Refuses returns true.
 func (RefuseAny) Refuses(Shortfall) bool { return true }
 
 // RefuseInvalid is the baseline: it refuses only a contract that contradicts
-// itself, and states the rest.
+// itself and reports all other shortfalls.
 type RefuseInvalid struct{}
 
 // Refuses reports whether s is a contradiction inside the contract.
--- a/core/state/limits/validate.go
+++ b/core/state/limits/validate.go
@@ -6,14 +6,14 @@
 	"camphorridge/core/state/model"
 )
 
-// Kind tells the errors of the package apart.
+// Kind is the kind of an Error.
 type Kind string
 
 // The kinds of error.
 const (
 	// KindInvalid: the contract contradicts itself.
 	KindInvalid Kind = "form"
-	// KindRefused: the verdict on the contract is a refusal.
+	// KindRefused: the evaluation refused the contract.
 	KindRefused Kind = "short"
 )
 
@@ -30,8 +30,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Validate returns the first contradiction inside a contract: a name that is
-// missing or used twice, or a figure below its least value.
+// Validate checks a contract for contradictions, such as a name that is missing or
+// used twice or a number below its minimum. It returns the first one as an *Error
+// of KindInvalid.
 func Validate(c model.Contract) error {
 	fail := func(format string, args ...any) error {
 		return &Error{Op: "check contract " + string(c.Customer), Kind: KindInvalid, Err: fmt.Errorf(format, args...)}
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -9,10 +9,10 @@
 	"camphorridge/core/state/model"
 )
 
-// BenchmarkWave reports, for each pacer, what a whole-fleet wave of 50
-// instances costs: its roll-out time, the instance-minutes out of service
-// (capacity that is not there), the excess pressure felt in peaks, and budget
-// violations, as means over 10 seeds.
+// BenchmarkWave reports for each pacer the cost of a wave over a whole fleet of 50
+// instances: roll-out time, instance-minutes out of service, excess pressure in
+// load peaks, releases taken back, missed deadlines and limit violations. The
+// first four are means over 10 seeds, the others totals.
 func BenchmarkWave(b *testing.B) {
 	for _, u := range []struct {
 		name   string
@@ -28,26 +28,26 @@
 func benchWave[P Pacer](b *testing.B, name string, p P, covers model.FailureDomain, most int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 10
-		var minutes, absent, felt, violations, missed, taken float64
+		var minutes, outMinutes, excess, violations, missed, takenBack float64
 		for b.Loop() {
-			minutes, absent, felt, violations, missed, taken = 0, 0, 0, 0, 0, 0
+			minutes, outMinutes, excess, violations, missed, takenBack = 0, 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
 				w := newFakeFleet(seed, 50, 3, 5, 5, covers, most)
 				w.peakShift = clock.Millis(seed) * 12 * clock.Minute
 				m := w.declare(8 * clock.Hour)
-				board := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod())
-				board.Load(w.input())
+				planner := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod())
+				planner.Load(w.input())
 				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
-					out := w.setPeakPressure()
-					sendChanges(w, board)
-					for _, s := range board.Pass(w.now).Steps {
+					sample := w.setPeakPressure()
+					sendChanges(w, planner)
+					for _, s := range planner.Pass(w.now).Steps {
 						if s.Kind == StepReturn && !s.Done {
-							taken++
+							takenBack++
 						}
 						w.carryOut(s)
 					}
-					absent += float64(out.count)
-					felt += float64(out.excess)
+					outMinutes += float64(sample.count)
+					excess += float64(sample.excess)
 					w.advance()
 				}
 				minutes += float64((w.now - m.DeclaredAt) / clock.Minute)
@@ -58,21 +58,24 @@
 			}
 		}
 		b.ReportMetric(minutes/seeds, "rollout-min")
-		b.ReportMetric(absent/seeds, "absent-inst-min")
-		b.ReportMetric(felt/seeds, "excess-permille-min")
-		b.ReportMetric(taken/seeds, "taken-back")
+		b.ReportMetric(outMinutes/seeds, "absent-inst-min")
+		b.ReportMetric(excess/seeds, "excess-permille-min")
+		b.ReportMetric(takenBack/seeds, "taken-back")
 		b.ReportMetric(missed, "deadlines-missed")
 		b.ReportMetric(violations, "violations")
 	})
 }
 
+// peakSample is the number of instances out of service in one minute and the
+// pressure in excess of that with a complete fleet, in permille.
 type peakSample struct{ count, excess int }
 
-// setPeakPressure sets the pressure of the minute. Hours with peaks and quiet hours take
-// turns, shifted by the seed; in the former half of the minutes hold a setPeakPressure, in which callers feel
-// 20 permille even of a whole fleet and 25 more for each instance that is out,
-// since the setPeakPressure exceeds what the pool holds. The board is told the mean of
-// about the last four minutes: peaks are shorter than a maintenance.
+// setPeakPressure sets the pressure of the present minute. Hours with load peaks
+// alternate with quiet hours, shifted by peakShift. In an hour with peaks, half of
+// the minutes have a peak that exceeds the capacity of the pool: the pressure is
+// 20 permille with a complete fleet and 25 permille more for each instance out of
+// service. The planner gets a moving average over about four minutes, because peaks
+// are shorter than a maintenance.
 func (w *fakeFleet) setPeakPressure() peakSample {
 	n := 0
 	for id, i := range w.instances {
@@ -90,8 +93,8 @@
 	return peakSample{count: n, excess: max(0, p-20)}
 }
 
-// BenchmarkPass reports the time and memory of one pass with 12 changes, with
-// the index on and off.
+// BenchmarkPass reports the time and memory of one pass with 12 changes, with and
+// without the index.
 func BenchmarkPass(b *testing.B) {
 	for _, size := range []struct{ n, zones, pools int }{{50, 3, 5}, {500, 3, 10}, {5100, 20, 37}} {
 		for _, scan := range []bool{false, true} {
@@ -119,9 +122,9 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	board := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, set)
-	board.Load(w.input())
-	board.Pass(w.now)
+	planner := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, set)
+	planner.Load(w.input())
+	planner.Pass(w.now)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	k, down := 0, ids[0]
@@ -134,29 +137,29 @@
 			s := w.observations[id]
 			s.Calls++
 			w.observations[id] = s
-			board.SetObservation(id, s)
+			planner.SetObservation(id, s)
 		}
 		for _, lost := range []bool{false, true} {
 			if lost {
 				down = ids[k*11%len(ids)]
 			}
 			w.lose(down, lost)
-			board.SetObservation(down, w.observations[down])
+			planner.SetObservation(down, w.observations[down])
 		}
 		w.outages = w.outages[:0]
-		for _, s := range board.Pass(w.now).Steps {
+		for _, s := range planner.Pass(w.now).Steps {
 			w.carryOut(s)
-			board.SetInstance(w.instances[s.Instance])
+			planner.SetInstance(w.instances[s.Instance])
 			w.advance()
-			board.SetObservation(s.Instance, w.observations[s.Instance])
+			planner.SetObservation(s.Instance, w.observations[s.Instance])
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
 }
 
-// BenchmarkJudge reports how many of 50 instances a wave touched before it
-// stopped, with touched instances that fail an eighth of their requests, and
-// how many of 20 waves with healthy instances stopped for no reason.
+// BenchmarkJudge reports for each stop policy how many of 50 instances a wave
+// touches before it stops, if touched instances fail an eighth of their requests,
+// and how many of 20 waves with healthy instances are stopped wrongly.
 func BenchmarkJudge(b *testing.B) {
 	benchStopPolicy(b, "never", NeverStop{})
 	benchStopPolicy(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
@@ -180,13 +183,14 @@
 	})
 }
 
-// runWave runs a wave for four hours. A returned instance has run few
-// requests at first: 8 a minute, one in 400 of which fails as on its peers.
+// runWave runs a wave for four hours. The request counts of a returned instance
+// start at 0 and grow by 8 a minute, of which one in 400 fails, as on its peers. If
+// bad is set, one in eight fails in addition.
 func runWave[J StopPolicy](j J, seed uint64, bad bool) *fakeFleet {
 	w := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
-	board := NewPlanner(FullSpeedPacer{}, j, settingsWithoutPeriod())
-	board.Load(w.input())
+	planner := NewPlanner(FullSpeedPacer{}, j, settingsWithoutPeriod())
+	planner.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
 		for _, id := range sortedKeys(w.instances) {
 			if i := w.instances[id]; i.MaintainedAt > 1 && w.now-i.MaintainedAt < 25*clock.Minute {
@@ -203,8 +207,8 @@
 				w.observations[id] = s
 			}
 		}
-		sendChanges(w, board)
-		plan := board.Pass(w.now)
+		sendChanges(w, planner)
+		plan := planner.Pass(w.now)
 		w.record(plan)
 		for _, s := range plan.Steps {
 			w.carryOut(s)
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -9,16 +9,16 @@
 	"camphorridge/core/state/model"
 )
 
-// fakeFleet is a fake fleet and platform. It carries out the steps of a plan, and
-// counts violations by its own bookkeeping, not by that of the board.
+// fakeFleet simulates a fleet and its platform. It carries out the steps of a plan
+// and detects limit violations independently of the planner.
 type fakeFleet struct {
 	rnd *rand.Rand
 	now clock.Millis
-	// peakShift shifts the hours with peaks.
+	// peakShift shifts the hours with load peaks.
 	peakShift    clock.Millis
 	instances    map[model.InstanceID]model.Instance
 	observations map[model.InstanceID]Observation
-	// nextEvent is when the next thing happens to an instance out of service.
+	// nextEvent is the time at which the drain or restart of an instance ends.
 	nextEvent map[model.InstanceID]clock.Millis
 	contracts []model.Contract
 	decls     []model.Maintenance
@@ -27,9 +27,12 @@
 	// failTouched makes touched instances fail their requests.
 	failTouched bool
 	violations  []string
-	sent        Input
-	stopped     bool
-	firstUnmet  map[string]clock.Millis
+	// sent is the state that sendChanges has passed to the planner.
+	sent Input
+	// stopped is set once a plan has stopped a wave.
+	stopped bool
+	// firstUnmet is the time of the first report of an unmet deadline, by wave.
+	firstUnmet map[string]clock.Millis
 }
 
 func newFakeFleet(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, most int) *fakeFleet {
@@ -70,7 +73,7 @@
 	return i.Phase != model.PhaseServing || s.LostSince > 0
 }
 
-// sendChanges passes on what changed since the last call.
+// sendChanges passes the changes since the last call to the planner.
 func sendChanges[P Pacer, J StopPolicy](w *fakeFleet, b *Planner[P, J]) {
 	for id, i := range w.instances {
 		if k := slices.IndexFunc(w.sent.Instances, func(x model.Instance) bool { return x.ID == id }); k < 0 {
@@ -111,7 +114,7 @@
 	}
 }
 
-// carryOut carries out one step, as the mover would.
+// carryOut carries out one step, like the component that executes plans.
 func (w *fakeFleet) carryOut(s Step) {
 	i, seen := w.instances[s.Instance], w.observations[s.Instance]
 	i.PhaseSince = w.now
@@ -142,7 +145,8 @@
 	w.instances[i.ID], w.observations[i.ID] = i, seen
 }
 
-// checkRelease counts what the release of i must not have caused.
+// checkRelease records a violation for each customer of i whose max-unavailable or
+// single-domain limit is exceeded after the release of i.
 func (w *fakeFleet) checkRelease(i model.Instance) {
 	for _, c := range w.contracts {
 		own := func(p model.Pool) bool {
@@ -171,7 +175,8 @@
 	w.violations = append(w.violations, fmt.Sprintf("%d: ", w.now)+fmt.Sprintf(format, args...))
 }
 
-// checkWindow counts customers whose window is overspent.
+// checkWindow records a violation for each customer whose window budget is
+// exceeded.
 func (w *fakeFleet) checkWindow() {
 	for _, c := range w.contracts {
 		spent := clock.Millis(0)
@@ -190,7 +195,8 @@
 	}
 }
 
-// advance lets a minute pass: drains and restarts end.
+// advance moves the time on by one minute and ends the drains and restarts that are
+// due.
 func (w *fakeFleet) advance() {
 	w.now += clock.Minute
 	for _, id := range sortedKeys(w.nextEvent) {
@@ -209,7 +215,7 @@
 	}
 }
 
-// lose takes a serving instance out without a plan, or brings one back.
+// lose starts or ends an unplanned loss of a serving instance.
 func (w *fakeFleet) lose(id model.InstanceID, lost bool) {
 	s := w.observations[id]
 	if w.instances[id].Phase != model.PhaseServing || (s.LostSince > 0) == lost {
@@ -225,7 +231,8 @@
 	w.observations[id] = s
 }
 
-// unfinished counts the instances that a declaration still has to reach.
+// unfinished returns the number of instances still to be maintained for a
+// declaration.
 func (w *fakeFleet) unfinished(m model.Maintenance) int {
 	n := 0
 	for _, i := range w.instances {
@@ -236,7 +243,7 @@
 	return n
 }
 
-// record remembers what a plan reported.
+// record records the stops and unmet deadlines of a plan.
 func (w *fakeFleet) record(p Plan) {
 	w.stopped = w.stopped || len(p.Stops) > 0
 	for _, l := range p.UnmetDeadlines {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -22,8 +22,9 @@
 	return m
 }
 
-// runFleet advances the world until the time is reached and the board with it. At
-// every pass a board that is newly filled has to decide the same.
+// runFleet plans and carries out maintenance every minute until the given time, and
+// calls each after every minute. Every seven minutes it checks that a planner newly
+// loaded with the whole state makes the same decisions.
 func runFleet[P Pacer, J StopPolicy](t rapid.TB, w *fakeFleet, p P, j J, set Settings, until clock.Millis, each func()) {
 	b := NewPlanner(p, j, set)
 	b.Load(Input{Contracts: w.contracts, Declarations: w.decls})
@@ -47,16 +48,16 @@
 	}
 }
 
-// Guards against an overspent budget, a second failure domain, a leader
-// change that decides differently, and a deadline that passes unreported,
-// with unplanned losses at any moment.
+// Guards against exceeding max-unavailable, disrupting a second failure domain, a
+// new leader that decides differently, and a deadline that is missed without a
+// report, while unplanned losses occur at any time.
 func TestWavesUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 18).Draw(t, "n")
 		covers := model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers"))
 		w := newFakeFleet(rapid.Uint64().Draw(t, "seed"), n, 3, 2, rapid.IntRange(1, 2).Draw(t, "per"), covers, rapid.IntRange(0, 4).Draw(t, "most"))
 		if rapid.Bool().Draw(t, "shared") {
-			// A customer of its own on a pool that another one holds too.
+			// A second customer of the same pool.
 			w.contracts = append(w.contracts, model.Contract{
 				Customer: "shared", Covers: model.DomainZone, MaxUnavailable: 2, Pools: []model.PoolShare{{Pool: "p00", Instances: 1}},
 			})
@@ -78,7 +79,7 @@
 	})
 }
 
-// Guards against an overspent window budget when all outages are planned.
+// Guards against exceeding the window budget while all outages are planned.
 func TestWindowBudgetHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newFakeFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 12).Draw(t, "n"), 3, 1, 1, model.DomainZone, 3)
@@ -95,8 +96,8 @@
 	})
 }
 
-// Guards against a deadline that is missed although the estimate at its
-// declaration met it, for each pacer while callers suffer nothing.
+// Guards against missing a deadline that equals the estimate at the declaration,
+// for each pacer, while there is no pressure.
 func TestFeasibleDeadlinesAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "n")
@@ -120,8 +121,8 @@
 	})
 }
 
-// Guards against a wave that goes on although what it touched fails, and
-// against one that stops although it does not.
+// Guards against a wave that continues although its touched instances fail, and
+// against one that stops although they are healthy.
 func TestWaveStopsOnFailures(t *testing.T) {
 	for _, bad := range []bool{false, true} {
 		w := newFakeFleet(7, 30, 3, 3, 3, model.DomainRack, 4)
@@ -137,20 +138,20 @@
 	}
 }
 
-// Guards against a pace that ignores what callers feel, and against waits that
-// do not name their limit.
+// Guards against a pacer that ignores pressure, and against waits that name the
+// wrong limit or do not say what ends them.
 func TestPressureSlowsWave(t *testing.T) {
 	w := newFakeFleet(3, 30, 3, 1, 1, model.DomainZone, 6)
 	w.instances["i0000"] = maintainedAt(w.instances["i0000"], w.now)
 	w.now += clock.Hour
 	w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
-	releases := func(p int) (int, Plan) {
+	releasesAt := func(p int) (int, Plan) {
 		w.pressure["c00"] = p
 		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, settingsWithoutPeriod(), w.input(), w.now)
 		return len(plan.Steps), plan
 	}
 	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
-		n, plan := releases(c.pressure)
+		n, plan := releasesAt(c.pressure)
 		assert.Equal(t, n, c.steps, "pressure %d", c.pressure)
 		assert.Equal(t, len(plan.Waits), 1)
 		want := LimitPressure
@@ -167,8 +168,8 @@
 	return i
 }
 
-// Guards against moves between pools that hold up or take back maintenance in
-// another domain as if they were losses.
+// Guards against treating an instance that moves between pools as lost, which would
+// block or take back maintenance in other domains.
 func TestMovesDoNotHoldUpOtherDomains(t *testing.T) {
 	w := newFakeFleet(3, 12, 3, 1, 1, model.DomainZone, 3)
 	w.declare(clock.Day)
@@ -186,8 +187,8 @@
 	assert.Equal(t, plan.Waits[0].Limit, LimitMaxUnavailable, "the move counts as unavailable")
 }
 
-// Guards against an instance that the periodic goal misses although budgets
-// allow it, and against two periods that start at the same moment.
+// Guards against an instance that is not maintained within its period although the
+// limits allow it. The first periods must all end within the first five days.
 func TestPeriodicGoal(t *testing.T) {
 	w := newFakeFleet(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
--- a/core/state/member/error.go
+++ b/core/state/member/error.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// Kind tells the reasons apart for which an announcement is refused.
+// Kind is the kind of reason for which an announcement is refused.
 type Kind int
 
 // The kinds of refusal.
@@ -11,18 +11,19 @@
 	KindInvalid Kind = iota
 	// KindZone: the announcement belongs to another zone.
 	KindZone
-	// KindIncarnation: a higher incarnation was heard before.
+	// KindIncarnation: a higher incarnation of the instance was announced before.
 	KindIncarnation
 	// KindPool: another pool was announced under the same incarnation.
 	KindPool
 	// KindAddress: another address was announced under the same incarnation,
 	// or the address is in use by another instance.
 	KindAddress
-	// KindStale: the announcement is older than what is known.
+	// KindStale: the announcement is older than its lease or than the recorded
+	// state of the instance.
 	KindStale
 )
 
-// Error is the reason why an announcement was refused.
+// Error describes why an announcement was refused.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -23,7 +23,7 @@
 	return ReceivedAnnouncement{Announcement: a, Direct: true}
 }
 
-// Guards against announcements that contradict what is known being taken in.
+// Guards against accepting announcements that contradict the recorded state.
 func TestAcceptRules(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against a stale forwarded announcement that revives a process which
-// is leaving, or one that was replaced.
+// Guards against a stale forwarded announcement that revives a process that is
+// leaving or was replaced.
 func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
 	r := New(Settings{Zone: "z"}, 0)
 	a := announcement("a", 1)
@@ -80,7 +80,7 @@
 	assert.NilError(t, err)
 	_, err = r.Accept(3, direct(a))
 	assert.ErrorContains(t, err, "incarnation")
-	// The address of a process that left can be used by another instance.
+	// Another instance can use the address of a process that is leaving.
 	a.Incarnation = 2
 	_, err = r.Accept(4, direct(a))
 	assert.NilError(t, err)
@@ -90,8 +90,8 @@
 	assert.NilError(t, err)
 }
 
-// Guards against leases that outlast their time, end early, move back, or whose
-// end is reported twice, with announcements that come late and out of order.
+// Guards against leases that end too late or too early, move back, or are reported
+// twice as expired, while announcements arrive late and out of order.
 func TestLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const lease = 900
@@ -136,8 +136,8 @@
 	})
 }
 
-// Guards against a process that was itself stopped declaring all others dead,
-// and against one that keeps the dead for ever because of it.
+// Guards against a process that expires all leases after it was itself paused, and
+// against one whose pauses keep the leases of dead instances valid.
 func TestPausedObserverGrantsGrace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := New(Settings{Zone: "z"}, 0)
@@ -167,9 +167,9 @@
 	})
 }
 
-// Guards against neighbours that miss news, get old ones again, or get echoes
-// of what they sent themselves.
-func TestNewsForNeighbours(t *testing.T) {
+// Guards against neighbours that miss updates, get old ones again, or get back the
+// ones that they sent.
+func TestUpdatesForNeighbours(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(Settings{Zone: "z"}, 0), New(Settings{Zone: "z"}, 0)
 		seq, now := uint64(0), clock.Millis(0)
@@ -196,7 +196,7 @@
 	})
 }
 
-// Guards against records that pile up as instances are replaced.
+// Guards against records that accumulate as instances are replaced.
 func TestOldRecordsAreForgotten(t *testing.T) {
 	r := New(Settings{Zone: "z", MaxTickGap: clock.Day}, 0)
 	for i := range 50 {
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -9,65 +9,69 @@
 const (
 	// DefaultLease is three announcement intervals.
 	DefaultLease = 3 * clock.Second
-	// DefaultMaxTickGap is the gap between two ticks that counts as a pause of this
-	// process.
+	// DefaultMaxTickGap is the gap between two ticks above which this process is
+	// assumed to have been paused.
 	DefaultMaxTickGap = clock.Second
-	// ForgetAfter is the time after which a lapsed record and its incarnation are
-	// dropped. It is far longer than any announcement can be under way.
+	// ForgetAfter is the time after the end of its lease at which a record is
+	// dropped with its incarnation. It is far longer than any announcement can be
+	// in transit.
 	ForgetAfter = clock.Hour
 )
 
-// Settings of a roster.
+// Settings configure a roster; zero durations get their default.
 type Settings struct {
 	Zone model.Zone
-	// Lease is how long an announcement holds.
+	// Lease is how long an announcement is valid.
 	Lease clock.Millis
-	// MaxTickGap is the longest gap between two ticks without a grace.
+	// MaxTickGap is the longest gap between two ticks for which leases are not
+	// extended.
 	MaxTickGap clock.Millis
 }
 
 // Record is the latest announcement of an instance.
 type Record struct {
 	Announcement model.Announcement
-	// SentAt is the time of the announcement, less the time it was under way.
+	// SentAt is the time at which the latest announcement was sent: the time of its
+	// receipt minus its age.
 	SentAt clock.Millis
-	// ExpiresAt is the end of the lease; it never moves back under one
+	// ExpiresAt is the end of the lease; it never moves back within an
 	// incarnation.
 	ExpiresAt clock.Millis
-	// Expired says that the end of the lease was reported.
+	// Expired is set once Expire has reported the end of the lease.
 	Expired bool
-	// Seq is the number of the last announcement heard from the upstream
-	// itself; 0 when all came through neighbours.
+	// Seq is the sequence number of the last announcement received directly from
+	// the upstream; 0 if all were forwarded by neighbours.
 	Seq uint64
-	// prev and next link the records with a Seq in its order.
+	// prev and next link the records that have a Seq, in ascending order of Seq.
 	prev, next *Record
 }
 
-// Live reports whether the lease holds at a time.
+// Live reports whether the lease is valid at the given time.
 func (r *Record) Live(now clock.Millis) bool { return r.ExpiresAt > now }
 
-// ReceivedAnnouncement is an announcement with the way it took.
+// ReceivedAnnouncement is an announcement with its age and origin.
 type ReceivedAnnouncement struct {
 	Announcement model.Announcement
-	// Age is the time since the upstream sent it, as far as known.
+	// Age is the time since the upstream sent the announcement, as far as known.
 	Age clock.Millis
-	// Direct says that it came from the upstream and not from a neighbour.
+	// Direct is set if it came from the upstream itself rather than from a
+	// neighbour.
 	Direct bool
 }
 
-// Roster is the announcement table of one zone. It is not safe for use by
-// several goroutines.
+// Roster holds the latest announcement of each instance of one zone. It is not safe
+// for concurrent use.
 type Roster struct {
 	cfg     Settings
 	records map[model.InstanceID]*Record
-	// byAddress names the instance that last announced an address.
+	// byAddress maps an address to the instance that announced it last.
 	byAddress map[string]model.InstanceID
-	// first and last are the ends of the list of records by Seq.
+	// first and last are the ends of the linked list of records ordered by Seq.
 	first, last *Record
 	seq         uint64
-	// lastTick is the latest time that the roster was told.
+	// lastTick is the latest time passed to Tick.
 	lastTick clock.Millis
-	// Pauses is the number of pauses of this process that were noticed.
+	// Pauses is the number of detected pauses of this process.
 	Pauses int
 }
 
@@ -87,12 +91,13 @@
 	}
 }
 
-// Lease returns the lease that an accepted announcement gets.
+// Lease returns the duration of the lease of an accepted announcement.
 func (t *Roster) Lease() clock.Millis { return t.cfg.Lease }
 
-// Tick tells the roster the time. After a gap longer than the pause, this
-// process itself was stopped and could not hear anybody: every lease that held
-// before the gap is prolonged by one lease. It reports whether that was so.
+// Tick sets the current time and reports whether this process was paused. After a
+// gap longer than MaxTickGap, the process itself was paused and could not receive
+// announcements, so every lease that was valid at the last tick is extended to one
+// full lease from now.
 func (t *Roster) Tick(now clock.Millis) (paused bool) {
 	before := t.lastTick
 	t.lastTick = max(t.lastTick, now)
@@ -108,8 +113,8 @@
 	return true
 }
 
-// Accept takes an announcement in, or returns why not. changed reports whether
-// anything but the lease differs from before.
+// Accept records an announcement, or returns an *Error if it is refused. changed
+// reports whether anything but the lease has changed.
 func (t *Roster) Accept(now clock.Millis, h ReceivedAnnouncement) (changed bool, err error) {
 	t.Tick(now)
 	if e := t.check(now, h); e != nil {
@@ -191,8 +196,8 @@
 	return nil
 }
 
-// Expire marks the records whose lease ended, appends them to buf, and forgets
-// those that lapsed long ago.
+// Expire marks the records whose lease has ended, appends them to buf, and drops
+// those whose lease ended more than ForgetAfter ago.
 func (t *Roster) Expire(now clock.Millis, buf []Record) []Record {
 	t.Tick(now)
 	for id, r := range t.records {
@@ -212,7 +217,7 @@
 	return buf
 }
 
-// Get returns the record of an instance.
+// Get returns the record of an instance; false if there is none.
 func (t *Roster) Get(id model.InstanceID) (Record, bool) {
 	r := t.records[id]
 	if r == nil {
@@ -228,16 +233,17 @@
 	}
 }
 
-// UpdatesSince returns what was heard from upstreams themselves after a sequence
-// number, for the neighbours, and the number to ask from next. Its cost
-// follows the number of news.
-func (t *Roster) UpdatesSince(now clock.Millis, since uint64) (news []ReceivedAnnouncement, latest uint64) {
+// UpdatesSince returns the valid announcements received directly from upstreams
+// after a sequence number, for forwarding to neighbours, and the latest sequence
+// number, which the next call starts from. Its cost is proportional to the number
+// of updates.
+func (t *Roster) UpdatesSince(now clock.Millis, since uint64) (updates []ReceivedAnnouncement, latest uint64) {
 	for r := t.last; r != nil && r.Seq > since; r = r.prev {
 		if r.Live(now) {
-			news = append(news, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.SentAt})
+			updates = append(updates, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.SentAt})
 		}
 	}
-	return news, t.seq
+	return updates, t.seq
 }
 
 func (t *Roster) link(r *Record) {
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -5,7 +5,7 @@
 	"camphorridge/core/state/jobs"
 )
 
-// ChangeKind tells the changes of the replicated state apart.
+// ChangeKind is the kind of a change of the replicated state.
 type ChangeKind int
 
 // The kinds of change.
@@ -18,30 +18,30 @@
 	ChangeInstances
 	ChangeClaims
 	ChangeOutcomes
-	// ChangeProcessGone says that every run of an entry process that started
+	// ChangeProcessGone declares that every run of an entry process that started
 	// before the change has ended for good.
 	ChangeProcessGone
-	// ChangeJobs carries a batch of operations on submitted work.
+	// ChangeJobs carries a batch of operations on submitted jobs.
 	ChangeJobs
 )
 
-// Change is one entry of the replicated log. The field that belongs to Kind
-// is set; the others are empty.
+// Change is one entry of the replicated log. Besides the common fields, only the
+// fields that belong to Kind are set.
 type Change struct {
 	Kind ChangeKind
-	// Time is the leader's clock at proposal; replicas use it in place of
-	// their own so that they stay equal.
+	// Time is the leader's clock when it proposed the change. Replicas use it
+	// instead of their own clocks so that their states stay equal.
 	Time clock.Millis
-	// Request identifies the change across resends; empty for changes that
-	// the system makes itself.
+	// Request identifies the change across resends; empty for changes that the
+	// system itself makes.
 	Request RequestID
 	// Author names who made the change.
 	Author string
-	// Base is the version of the object that the change was made against; 0
-	// for an object that does not exist.
+	// Base is the version of the object that the change is based on; 0 for an
+	// object that does not exist.
 	Base Version
-	// Note is what the leader states when it accepts a contract that falls
-	// short; it becomes the reason of the result.
+	// Note describes the shortfalls of a contract that the leader accepted in
+	// spite of them. It becomes the Reason of the result.
 	Note        string
 	Contract    Contract
 	Customer    Customer
@@ -49,8 +49,8 @@
 	Instances   []InstanceStep
 	Claims      []Claim
 	Outcomes    []ClaimOutcome
-	// Process and Run name the entry process that claims, and its incarnation;
-	// Process alone names one that is gone.
+	// Process is the entry process that claims, and Incarnation its incarnation.
+	// For ChangeProcessGone, Process is the process that is gone.
 	Process     Process
 	Incarnation uint64
 	// Ops are applied in order at Time.
@@ -71,17 +71,17 @@
 	Key      string
 }
 
-// Claim asks for the sole right to run the request that carries the key.
+// Claim requests the exclusive right to run the request with the idempotency key.
 type Claim struct {
 	Key ClaimKey
-	// Token identifies this attempt; the answer to a claim that was already
-	// granted to the same token is a grant.
+	// Token identifies this attempt. A claim that was already granted to the same
+	// token is granted again.
 	Token string
 	// Owner is the entry process that runs the request.
 	Owner Process
 }
 
-// ClaimState is what is known of a claimed request.
+// ClaimState is the known state of a claimed request.
 type ClaimState int
 
 // The states of a claim.
@@ -101,15 +101,17 @@
 	Status int
 }
 
-// ClaimAnswer tells the claimant whether it may run the request.
+// ClaimAnswer is the answer to a claim.
 type ClaimAnswer struct {
+	// Granted is set if the claimant may run the request.
 	Granted bool
-	// FirstState is the state of the request that holds the key.
+	// FirstState is the state of the request that holds the key, if the claim was
+	// not granted.
 	FirstState ClaimState
 	Status     int
 }
 
-// ResultKind tells how a change ended.
+// ResultKind is the kind of result of a change.
 type ResultKind int
 
 // The kinds of result.
@@ -119,14 +121,14 @@
 	ResultInvalid
 )
 
-// Result is the answer to a change. It is part of the replicated state, so
-// that a resend gets it again.
+// Result is the result of a change. It is part of the replicated state, so that a
+// resent change gets the same result.
 type Result struct {
 	Kind    ResultKind
 	Version Version
 	// Winner names the author of the change that won a conflict.
 	Winner string
-	// DifferingFields lists the fields that differ from the winner's.
+	// DifferingFields lists the settings that differ from those of the winner.
 	DifferingFields []string
 	Reason          string
 	Claims          []ClaimAnswer
--- a/core/state/model/doc.go
+++ b/core/state/model/doc.go
@@ -1,3 +1,3 @@
-// Package model holds the domain types: plain structs without behaviour of
-// their own beyond names and small derivations.
+// Package model defines the types of the domain: plain structs with no behaviour
+// beyond their names and simple derived values.
 package model
--- a/core/state/model/event.go
+++ b/core/state/model/event.go
@@ -2,8 +2,8 @@
 
 import "camphorridge/core/state/clock"
 
-// Stamp orders events over processes: a hybrid of the clock and a counter
-// that every message carries along.
+// Stamp is a hybrid logical clock timestamp that orders the events of all
+// processes. Every message carries one.
 type Stamp struct {
 	Wall  clock.Millis
 	Count uint32
@@ -17,7 +17,7 @@
 	return s.Count < t.Count
 }
 
-// EventKind tells the events of the time line apart.
+// EventKind is the kind of an event.
 type EventKind string
 
 // The kinds of event.
@@ -45,11 +45,11 @@
 	EventBorrowed     EventKind = "slots-borrowed"
 )
 
-// Event is one line of the time line. Empty fields do not apply.
+// Event is one entry of the event log. Empty fields do not apply.
 type Event struct {
 	Stamp   Stamp
 	Process Process
-	// Seq grows by one with each event of a process, dropped ones included.
+	// Seq grows by one with each event of a process, including dropped events.
 	Seq      uint64
 	Kind     EventKind
 	Customer Customer
@@ -57,7 +57,7 @@
 	Instance InstanceID
 	Request  string
 	Version  Version
-	// Limit names the limit that bound, and Detail says what was asked and
+	// Limit names the limit that was hit. Detail describes what was requested and
 	// tried.
 	Limit  string
 	Detail string
--- a/core/state/model/load_report.go
+++ b/core/state/model/load_report.go
@@ -2,8 +2,8 @@
 
 import "camphorridge/core/state/clock"
 
-// LoadReport is what an entry process saw of callers and instances since it was
-// last asked.
+// LoadReport counts the requests that an entry process handled since its last
+// report, by customer and by instance.
 type LoadReport struct {
 	Customers []CustomerLoad
 	Instances []InstanceTally
@@ -13,8 +13,8 @@
 type CustomerLoad struct {
 	Customer Customer
 	Requests int64
-	// Impaired counts those that were refused for lack of capacity or time, or
-	// whose outcome is unknown; at most Asks. Refusals by a limit of the
+	// Impaired counts the requests that were refused for lack of capacity or time,
+	// or whose outcome is unknown; at most Requests. Refusals by a limit of the
 	// contract do not count.
 	Impaired int64
 }
@@ -27,15 +27,15 @@
 	Failures int64
 }
 
-// PoolDemand is what callers ask of a pool, as one entry process sees it.
+// PoolDemand is the demand for a pool at one entry process.
 type PoolDemand struct {
 	Pool Pool
-	// Running and Waiting are requests in flight and in queues.
+	// Running is the number of requests in flight, Waiting that of queued requests.
 	Running int
 	Waiting int
-	// Refused counts the requests that were refused for lack of capacity or
-	// time since the last report.
+	// Refused counts the requests that were refused for lack of capacity or time
+	// since the last report.
 	Refused int
-	// TypicalRunTime is the usual run time of a request; 0 while unknown.
+	// TypicalRunTime is the smoothed run time of a request; 0 while unknown.
 	TypicalRunTime clock.Millis
 }
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -5,7 +5,7 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Names of the objects of the domain.
+// Names and identifiers of the objects of the domain.
 type (
 	// Customer names the holder of a contract.
 	Customer string
@@ -26,7 +26,7 @@
 // Version is the log index of the change that last altered an object.
 type Version uint64
 
-// FailureDomain is a kind of failure domain.
+// FailureDomain is a kind of failure domain: instance, rack or zone.
 type FailureDomain int
 
 // The failure domains, from the smallest to the largest.
@@ -56,32 +56,32 @@
 	return 0, false
 }
 
-// Contract is what one customer was promised and may use. Every limit in the
-// system derives from it.
+// Contract describes the capacity promised to a customer and the limits on its
+// use. Every limit in the system derives from it.
 type Contract struct {
 	Customer Customer
-	// Version is 0 until the contract was accepted.
+	// Version is 0 until the contract is accepted.
 	Version Version
-	// Covers is the largest failure domain whose loss leaves the capacity
-	// whole.
+	// Covers is the largest failure domain whose loss does not reduce the promised
+	// capacity.
 	Covers FailureDomain
-	// Pools lists the capacity promised, by pool; names are unique.
+	// Pools lists the promised capacity by pool; the names are unique.
 	Pools []PoolShare
 	// Concurrency is the number of requests in flight over all entry
 	// processes; 0 derives it from the instances' slots.
 	Concurrency int
 	// Queue is the number of requests that may wait over all entry processes.
 	Queue int
-	// RetryPercent bounds retries, as a share of the first tries.
+	// RetryPercent bounds the retries, as a percentage of the first attempts.
 	RetryPercent int
-	// MaxUnavailable is the number of the customer's instances that may be
-	// out of service at once, for planned and unplanned reasons together.
+	// MaxUnavailable is the number of the customer's instances that may be out of
+	// service at once, planned and unplanned together.
 	MaxUnavailable int
-	// BudgetMillis is the unavailable time, summed over instances, that one
-	// window allows.
+	// BudgetMillis is the time out of service, summed over the instances, that is
+	// allowed within any window of WindowMillis. A window of 0 disables the budget.
 	BudgetMillis clock.Millis
 	WindowMillis clock.Millis
-	// Spare is the number of idle instances that wait in SparePool.
+	// Spare is the number of idle instances kept in SparePool.
 	Spare     int
 	SparePool Pool
 	// Quota bounds the customer's tasks on workers.
@@ -91,11 +91,11 @@
 // PoolShare is the capacity of one pool in a contract.
 type PoolShare struct {
 	Pool Pool
-	// Instances is the number promised; at least 1.
+	// Instances is the number of promised instances; at least 1.
 	Instances int
 }
 
-// Quota bounds the resources that a customer's tasks hold at once.
+// Quota bounds the resources that a customer's tasks use at once.
 type Quota = jobs.Resources
 
 // Phase is the state of an instance's membership in a pool.
@@ -105,10 +105,10 @@
 const (
 	// PhaseServing: routable in its pool.
 	PhaseServing Phase = iota
-	// PhaseReleasing: no new requests; waits for the entry processes of its
-	// zone to confirm.
+	// PhaseReleasing: gets no new requests; waits until the entry processes of its
+	// zone confirm that their requests have ended.
 	PhaseReleasing
-	// PhaseMaintenance: confirmed free and handed to the platform.
+	// PhaseMaintenance: released and handed over to the platform.
 	PhaseMaintenance
 	// PhaseRetired: no longer part of the fleet.
 	PhaseRetired
@@ -124,68 +124,68 @@
 	return phaseNames[p]
 }
 
-// PoolNone is the target of an instance that is to be retired. It is no valid
-// name, so that no pool can have it.
+// PoolNone is the target pool of an instance that is to be retired. It is not a
+// valid name, so it cannot collide with a pool.
 const PoolNone Pool = "-"
 
-// Instance is a machine of the fleet as the control group knows it.
+// Instance is the record of a fleet machine in the control group.
 type Instance struct {
 	ID   InstanceID
 	Zone Zone
 	Rack Rack
-	// Pool is the one pool that the instance belongs to. It changes only
-	// after every entry process of the zone confirmed the release.
+	// Pool is the one pool that the instance belongs to. It changes only after
+	// every entry process of the zone has confirmed the release.
 	Pool Pool
-	// Target is the pool it moves to while releasing; equal to Pool when the
+	// Target is the pool that a releasing instance moves to; equal to Pool if the
 	// release is for maintenance.
 	Target Pool
 	Phase  Phase
-	// Slots and Connections bound the requests and the connections over all
-	// entry processes.
+	// Slots and Connections bound the concurrent requests and the connections of
+	// all entry processes together.
 	Slots       int
 	Connections int
-	// Reason says why the last phase was entered.
+	// Reason describes why the present phase was entered.
 	Reason string
 	// Incarnation is the upstream's incarnation when the instance was handed
 	// to the platform; a higher one shows that it was rebooted.
 	Incarnation uint64
 	// MaintainedAt is the time of the last finished maintenance; 0 for never.
 	MaintainedAt clock.Millis
-	// LostSince is the time since which no entry process hears the instance although
-	// nothing was planned; 0 while it is heard.
+	// LostSince is the time since which no entry process has received announcements
+	// of the instance, without a planned reason; 0 if it is not lost.
 	LostSince clock.Millis
-	// OutSince is the time since which the instance has been out of service, for
-	// planned and unplanned reasons alike; 0 while it serves.
+	// OutSince is the time since which the instance has been out of service,
+	// planned or unplanned; 0 while it is in service.
 	OutSince clock.Millis
-	// PhaseSince is the time at which the phase was entered, by the leader's
-	// clock.
+	// PhaseSince is the time at which the phase was entered, by the leader's clock.
 	PhaseSince clock.Millis
 	Version    Version
 }
 
-// OutOfService reports whether the instance counts against the budgets of its
-// pool's customers.
+// OutOfService reports whether the instance counts against the disruption budgets
+// of its pool's customers.
 func (i Instance) OutOfService() bool {
 	return i.LostSince != 0 || i.Phase == PhaseReleasing || i.Phase == PhaseMaintenance
 }
 
-// Outage is a finished time that an instance spent out of service.
+// Outage is a finished period during which an instance was out of service.
 type Outage struct {
 	Instance InstanceID
-	// Pool is the pool that the instance belonged to when the outage began.
+	// Pool is the pool that the instance belonged to before the step that ended the
+	// outage.
 	Pool Pool
 	From clock.Millis
 	To   clock.Millis
 }
 
-// Member is a process of the system from its settings.
+// Member is a process of the system as named in the settings.
 type Member struct {
 	Name    Process
 	Zone    Zone
 	Address string
 }
 
-// Selector picks instances; an empty field matches all.
+// Selector selects instances. An empty field matches every instance.
 type Selector struct {
 	Pool     Pool
 	Zone     Zone
@@ -211,7 +211,7 @@
 	Version    Version
 }
 
-// AnnounceState is what an upstream says about itself.
+// AnnounceState is the state that an upstream announces.
 type AnnounceState int
 
 // The states of an announcement.
@@ -220,27 +220,28 @@
 	AnnounceLeaving
 )
 
-// Announcement is what an upstream tells the entry processes of its zone.
+// Announcement is the message by which an upstream announces itself to the entry
+// processes of its zone.
 type Announcement struct {
 	Instance InstanceID
 	Zone     Zone
 	Rack     Rack
-	// Pool is the pool whose service the instance runs now.
+	// Pool is the pool whose service the instance runs at present.
 	Pool Pool
-	// Address is host:port, by IP number.
+	// Address is host:port; the host is an IP address.
 	Address     string
 	Slots       int
 	Connections int
 	// Incarnation grows with each start of the upstream's process.
 	Incarnation uint64
 	State       AnnounceState
-	// HealthPath is the path that probes ask for; empty turns probes off.
+	// HealthPath is the URL path of health probes; empty disables them.
 	HealthPath string
 }
 
-// Table is the configuration that entry processes route by.
+// Table is the routing configuration of entry processes.
 type Table struct {
-	// Version never goes down within a process.
+	// Version never decreases within a process.
 	Version   Version
 	Contracts map[Customer]Contract
 	Instances map[InstanceID]Instance
@@ -248,10 +249,10 @@
 
 // Delta is the difference between two versions of a table.
 type Delta struct {
-	// From is the version that the delta applies to; 0 with Full set.
+	// From is the version that the delta applies to; 0 if Full is set.
 	From Version
 	To   Version
-	// Full says that the delta replaces the table.
+	// Full is set if the delta replaces the whole table.
 	Full             bool
 	Contracts        []Contract
 	Instances        []Instance
--- a/core/state/model/name.go
+++ b/core/state/model/name.go
@@ -3,10 +3,10 @@
 // MaxName is the largest length of a name, in bytes.
 const MaxName = 64
 
-// ValidName reports whether s may name a customer, a pool, an instance, a zone,
-// a rack or a process: 1 to MaxName letters, digits, '-' and '_', starting with
-// a letter or digit. The names go into paths, headers, files and metrics as
-// they are.
+// ValidName reports whether s is a valid name of a customer, a pool, an instance, a
+// zone, a rack or a process: 1 to MaxName ASCII letters, digits, '-' and '_',
+// starting with a letter or digit. Names are used without escaping in paths,
+// headers, files and metrics.
 func ValidName(s string) bool {
 	if s == "" || len(s) > MaxName {
 		return false
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -32,8 +32,8 @@
 
 const start = 10 * clock.Second
 
-// Guards against entry processes that together use more slots or connections
-// than an upstream has.
+// Guards against entry processes that together use more slots or connections than
+// an upstream has.
 func TestSharesOfSlotsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 9).Draw(t, "count")
@@ -60,8 +60,8 @@
 	})
 }
 
-// Guards against new work on an instance that is leaving, lapsed, released, in
-// another zone or in another pool than it says.
+// Guards against new requests on an instance that is leaving, expired, released, or
+// whose zone or pool differs between the table and its announcement.
 func TestOnlyAgreedUpstreamsAreRoutable(t *testing.T) {
 	for name, change := range map[string]func(i *model.Instance, a *model.Announcement, live *bool){
 		"leaving":        func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
@@ -92,8 +92,8 @@
 	}
 }
 
-// Guards against a release that is confirmed while a request still runs on the
-// instance, and against one that is never confirmed.
+// Guards against confirming a release while a request still runs on the instance,
+// and against never confirming it.
 func TestDrainedFollowsRequestsInFlight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
@@ -148,8 +148,8 @@
 					}
 				}
 				if i.Phase == model.PhaseServing && phase[id] != model.PhaseServing {
-					// Control waits for the confirmation first; without it the
-					// result may be lower than needed.
+					// The control group would wait for the confirmation first. Here
+					// the result may be lower than necessary.
 					again = true
 				}
 				phase[id] = i.Phase
@@ -175,8 +175,8 @@
 	})
 }
 
-// Guards against ejections that empty a pool, and against rooms that are given
-// out twice.
+// Guards against ejections that leave less than half of a pool's upstreams in
+// service, and against slots that are not released.
 func TestFloorKeepsThePoolAlive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 7).Draw(t, "upstreams")
@@ -223,8 +223,9 @@
 	})
 }
 
-// Guards against an upstream that fails everything and, because it is fast at
-// it, attracts the most work; and against ejecting for a fault that all share.
+// Guards against an upstream that fails all requests and attracts the most of them,
+// because failing is fast. Also guards against ejections for a fault that all
+// upstreams share.
 func TestFailingUpstreamIsEjected(t *testing.T) {
 	for _, o := range []Outcome{OutcomeError, OutcomeUnknown, OutcomeTimeout, OutcomeConnect} {
 		r := pool(LeastLoaded{}, 4)
@@ -241,7 +242,7 @@
 		}
 		assert.Assert(t, failed <= 4, "%d requests went to the failing upstream", failed)
 		assert.Equal(t, r.Capacity(start, "p"), 24)
-		// It comes back slowly.
+		// After the ejection the upstream starts slowly.
 		back := start + ejectBase
 		assert.Equal(t, len(r.Restored(start, nil)), 0)
 		assert.Equal(t, len(r.Restored(back, nil)), 1)
@@ -265,8 +266,8 @@
 	}
 }
 
-// Guards against the outcome of a request to an earlier process of an upstream
-// being counted against the present one.
+// Guards against counting the outcome of a request to an earlier process of an
+// upstream against the present process.
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	h, _ := r.Reserve(start, "p", "i0")
@@ -276,8 +277,8 @@
 	assert.Equal(t, h.Upstream.Running, 0)
 }
 
-// Guards against a newcomer that gets its whole share at once, and against a
-// process that has just started holding everybody back.
+// Guards against a new upstream that gets its full share at once, and against a
+// slow start of all upstreams when the router itself has just started.
 func TestSlowStart(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	assert.Equal(t, r.Capacity(0, "p"), 16)
@@ -288,7 +289,7 @@
 	assert.Equal(t, r.Capacity(start+SlowStart, "p"), 24)
 }
 
-// Guards against a choice that ignores load; the baseline does.
+// Guards against a choice that ignores the load, as the round-robin baseline does.
 func TestLeastLoadedEvensOut(t *testing.T) {
 	uneven := func(pick func() (Reservation, bool), end func(Reservation)) int {
 		// Requests on i0 never end; all others end at once.
