Name local variables of maint, fleet, admit and member for what they hold

The letters l and y stood for lines and yards, and held, back, order and why for the current record, releases taken back, released items and reasons.

--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -93,28 +93,28 @@
 		}
 		pools := []model.PoolShare{{Pool: "p"}}
 		for i := range 3 {
-			l := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), MaxQueued: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
+			limit := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), MaxQueued: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
 			c := model.Customer(fmt.Sprint(i))
-			w.limits[c] = l
-			w.g.SetCustomer(c, l, pools)
+			w.limits[c] = limit
+			w.g.SetCustomer(c, limit, pools)
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"ask": func(t *rapid.T) {
 				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
-				l, why := w.g.Queue(c, "p")
-				if why != ReasonNone {
-					assert.Equal(t, why, ReasonShare)
+				q, reason := w.g.Queue(c, "p")
+				if reason != ReasonNone {
+					assert.Equal(t, reason, ReasonShare)
 					return
 				}
-				if l.CanRun() && l.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
-					w.g.Start(l)
-					w.lines = append(w.lines, l)
+				if q.CanRun() && q.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
+					w.g.Start(q)
+					w.lines = append(w.lines, q)
 					w.running[c]++
 					return
 				}
 				w.next++
-				wt, why := w.g.Enqueue(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
-				if why == ReasonNone {
+				wt, reason := w.g.Enqueue(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), q, w.slots, w.next)
+				if reason == ReasonNone {
 					w.waiting[w.next] = wt
 				}
 			},
@@ -123,10 +123,10 @@
 					t.Skip()
 				}
 				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
-				l := w.lines[i]
+				q := w.lines[i]
 				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
-				w.running[l.Customer.Name]--
-				w.g.End(l, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
+				w.running[q.Customer.Name]--
+				w.g.End(q, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
 				w.pump(t)
 			},
 			"cancel": func(t *rapid.T) {
@@ -162,10 +162,10 @@
 	g.SetCustomer("a", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightA}, pools)
 	g.SetCustomer("b", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightB}, pools)
 	fill := func(c model.Customer, want int) {
-		l, _ := g.Queue(c, "p")
-		for l.Len() < want {
-			if _, why := g.Enqueue(0, 1<<40, l, 1, c); why != ReasonNone {
-				panic(why)
+		q, _ := g.Queue(c, "p")
+		for q.Len() < want {
+			if _, reason := g.Enqueue(0, 1<<40, q, 1, c); reason != ReasonNone {
+				panic(reason)
 			}
 		}
 	}
@@ -200,17 +200,17 @@
 func TestEnqueueChecksDeadline(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Queue("a", "p")
-	g.Start(l)
-	g.End(l, 100)
+	q, _ := g.Queue("a", "p")
+	g.Start(q)
+	g.End(q, 100)
 	// Two slots at 100 ms per request: the estimated wait grows by 50 ms with each
 	// waiter, plus a margin of an eighth.
 	for k := range 4 {
 		need := clock.Millis(50*(k+1)*9/8 + 100)
-		_, why := g.Enqueue(0, need, l, 2, k)
-		assert.Equal(t, why, ReasonDeadline)
-		_, why = g.Enqueue(0, need+1, l, 2, k)
-		assert.Equal(t, why, ReasonNone)
+		_, reason := g.Enqueue(0, need, q, 2, k)
+		assert.Equal(t, reason, ReasonDeadline)
+		_, reason = g.Enqueue(0, need+1, q, 2, k)
+		assert.Equal(t, reason, ReasonNone)
 	}
 	// At 60 ms the first waiter, due at 157, can no longer end in time.
 	w, late := g.Next(60, "p", nil)
@@ -222,18 +222,18 @@
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Queue("a", "p")
+	q, _ := g.Queue("a", "p")
 	for k := range 1000 {
-		g.Start(l)
+		g.Start(q)
 		elapsed := clock.Millis(10)
 		if k%20 == 0 {
 			elapsed = 2000
 		}
-		g.End(l, elapsed)
+		g.End(q, elapsed)
 	}
-	assert.Assert(t, l.poolQueues.timeNeeded() < 50, "%d", l.poolQueues.timeNeeded())
-	_, why := g.Enqueue(0, 200, l, 32, 1)
-	assert.Equal(t, why, ReasonNone)
+	assert.Assert(t, q.poolQueues.timeNeeded() < 50, "%d", q.poolQueues.timeNeeded())
+	_, reason := g.Enqueue(0, 200, q, 32, 1)
+	assert.Equal(t, reason, ReasonNone)
 }
 
 // Guards against more retries than RetryPercent of the first attempts, plus one.
@@ -262,16 +262,16 @@
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
 	g.SetCustomer("a", Limit{MaxInFlight: 2, MaxQueued: 2}, pools)
-	l, _ := g.Queue("a", "p")
-	g.Start(l)
-	_, why := g.Enqueue(0, 100, l, 1, 7)
-	assert.Equal(t, why, ReasonNone)
+	q, _ := g.Queue("a", "p")
+	g.Start(q)
+	_, reason := g.Enqueue(0, 100, q, 1, 7)
+	assert.Equal(t, reason, ReasonNone)
 	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
-	_, why = g.Queue("a", "p")
-	assert.Equal(t, why, ReasonContract)
+	_, reason = g.Queue("a", "p")
+	assert.Equal(t, reason, ReasonContract)
 	g.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
 	assert.Equal(t, g.Customer("a").Running, 1)
 	g.RemoveCustomer("a")
-	g.End(l, 1)
+	g.End(q, 1)
 	assert.Assert(t, g.Customer("a") == nil)
 }
--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -158,9 +158,9 @@
 		a.queues[p.Pool].info.Weight = share.Weight
 	}
 	var out []R
-	for p, l := range a.queues {
+	for p, q := range a.queues {
 		if !covered[p] {
-			out = l.clear(out)
+			out = q.clear(out)
 			delete(a.queues, p)
 		}
 	}
@@ -174,8 +174,8 @@
 		return nil
 	}
 	var out []R
-	for _, l := range a.queues {
-		out = l.clear(out)
+	for _, q := range a.queues {
+		out = q.clear(out)
 	}
 	a.removed = true
 	g.dropUnused(a)
@@ -206,14 +206,14 @@
 	if a == nil || a.removed {
 		return nil, ReasonContract
 	}
-	l := a.queues[p]
-	if l == nil {
+	q := a.queues[p]
+	if q == nil {
 		return nil, ReasonPool
 	}
 	if a.Limit.MaxInFlight == 0 {
 		return nil, ReasonShare
 	}
-	return l, ReasonNone
+	return q, ReasonNone
 }
 
 // Customer returns the state of a customer; nil if the customer is unknown.
@@ -229,26 +229,26 @@
 // EachWaiting calls f for every pool in which the customer has queued requests,
 // with their number.
 func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
-	for p, l := range a.queues {
-		if l.length > 0 {
-			f(p, l.length)
+	for p, q := range a.queues {
+		if q.length > 0 {
+			f(p, q.length)
 		}
 	}
 }
 
 // Start counts a request that starts without having been queued.
-func (g *Controller[P, R]) Start(l *Queue[R]) {
-	l.Customer.Running++
-	l.advanceVirtualTime()
+func (g *Controller[P, R]) Start(q *Queue[R]) {
+	q.Customer.Running++
+	q.advanceVirtualTime()
 }
 
 // End counts the end of a request. Its run time updates the estimates of the pool
 // unless it is negative.
-func (g *Controller[P, R]) End(l *Queue[R], elapsed clock.Millis) {
-	l.Customer.Running--
-	g.dropUnused(l.Customer)
+func (g *Controller[P, R]) End(q *Queue[R], elapsed clock.Millis) {
+	q.Customer.Running--
+	g.dropUnused(q.Customer)
 	if elapsed >= 0 {
-		l.poolQueues.addRunTime(float64(elapsed))
+		q.poolQueues.addRunTime(float64(elapsed))
 	}
 }
 
@@ -263,18 +263,18 @@
 // Enqueue queues a request. slots is the number of requests that the pool can run
 // at once. The request is refused if the customer's queue is full, or if it is
 // not expected to end before the deadline after its wait and run time.
-func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, l *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
-	if l.Customer.Waiting >= l.Customer.Limit.MaxQueued {
+func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, q *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
+	if q.Customer.Waiting >= q.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
 	}
-	wait := l.EstimateWait(slots)
+	wait := q.EstimateWait(slots)
 	wait += clock.Millis(float64(wait) * waitMargin)
-	if now+wait+l.poolQueues.timeNeeded() >= deadline {
+	if now+wait+q.poolQueues.timeNeeded() >= deadline {
 		return nil, ReasonDeadline
 	}
 	g.lastArrival++
 	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, arrival: g.lastArrival}
-	l.push(w)
+	q.push(w)
 	return w, ReasonNone
 }
 
@@ -285,8 +285,8 @@
 	if h == nil {
 		return false
 	}
-	for _, l := range h.active {
-		if l.CanRun() {
+	for _, q := range h.active {
+		if q.CanRun() {
 			return true
 		}
 	}
@@ -301,8 +301,8 @@
 		return 0
 	}
 	n := 0
-	for _, l := range h.active {
-		n += max(0, min(l.length, l.Customer.Limit.MaxInFlight-l.Customer.Running))
+	for _, q := range h.active {
+		n += max(0, min(q.length, q.Customer.Limit.MaxInFlight-q.Customer.Running))
 	}
 	return n
 }
@@ -317,20 +317,20 @@
 	}
 	late = h.dropUnfinishable(now+h.timeNeeded(), late)
 	g.candidateInfos, g.candidates = g.candidateInfos[:0], g.candidates[:0]
-	for _, l := range h.active {
-		if l.CanRun() {
-			g.candidateInfos = append(g.candidateInfos, &l.info)
-			g.candidates = append(g.candidates, l)
+	for _, q := range h.active {
+		if q.CanRun() {
+			g.candidateInfos = append(g.candidateInfos, &q.info)
+			g.candidates = append(g.candidates, q)
 		}
 	}
 	if len(g.candidates) == 0 {
 		return nil, late
 	}
-	l := g.candidates[g.picker.Pick(g.candidateInfos)]
-	w := l.first
-	l.remove(w)
-	l.Customer.Running++
-	l.advanceVirtualTime()
+	q := g.candidates[g.picker.Pick(g.candidateInfos)]
+	w := q.first
+	q.remove(w)
+	q.Customer.Running++
+	q.advanceVirtualTime()
 	return w, late
 }
 
--- a/core/state/admit/queue.go
+++ b/core/state/admit/queue.go
@@ -34,90 +34,90 @@
 
 // CanRun reports whether the customer has fewer requests in flight than its share
 // allows.
-func (l *Queue[R]) CanRun() bool { return l.Customer.Running < l.Customer.Limit.MaxInFlight }
+func (q *Queue[R]) CanRun() bool { return q.Customer.Running < q.Customer.Limit.MaxInFlight }
 
 // Len returns the number of waiters.
-func (l *Queue[R]) Len() int { return l.length }
+func (q *Queue[R]) Len() int { return q.length }
 
 // EstimateWait estimates how long a new waiter of the queue waits if the pool runs
 // slots requests at once; 0 while the run time is unknown. The estimate divides the
 // rate of the pool between the waiting customers by weight, and bounds the rate of
 // a customer by its share.
-func (l *Queue[R]) EstimateWait(slots int) clock.Millis {
-	if l.poolQueues.typicalRunTime == 0 || slots <= 0 {
+func (q *Queue[R]) EstimateWait(slots int) clock.Millis {
+	if q.poolQueues.typicalRunTime == 0 || slots <= 0 {
 		return 0
 	}
-	total := l.info.Weight
-	for _, o := range l.poolQueues.active {
-		if o != l {
+	total := q.info.Weight
+	for _, o := range q.poolQueues.active {
+		if o != q {
 			total += o.info.Weight
 		}
 	}
-	rate := float64(slots) * float64(l.info.Weight) / float64(total)
-	rate = min(rate, float64(l.Customer.Limit.MaxInFlight))
-	return clock.Millis(float64(l.length+1) * l.poolQueues.typicalRunTime / rate)
+	rate := float64(slots) * float64(q.info.Weight) / float64(total)
+	rate = min(rate, float64(q.Customer.Limit.MaxInFlight))
+	return clock.Millis(float64(q.length+1) * q.poolQueues.typicalRunTime / rate)
 }
 
 // Remove removes a waiter whose request was given up.
-func (l *Queue[R]) Remove(w *Waiter[R]) { l.remove(w) }
+func (q *Queue[R]) Remove(w *Waiter[R]) { q.remove(w) }
 
-func (l *Queue[R]) push(w *Waiter[R]) {
-	w.queue = l
-	w.prev = l.last
-	if l.last == nil {
-		l.first = w
-		l.info.FirstArrival = w.arrival
-		l.activeIndex = len(l.poolQueues.active)
-		l.poolQueues.active = append(l.poolQueues.active, l)
+func (q *Queue[R]) push(w *Waiter[R]) {
+	w.queue = q
+	w.prev = q.last
+	if q.last == nil {
+		q.first = w
+		q.info.FirstArrival = w.arrival
+		q.activeIndex = len(q.poolQueues.active)
+		q.poolQueues.active = append(q.poolQueues.active, q)
 		// A queue gets no credit for the time in which it was empty.
-		l.info.VirtualTime = max(l.info.VirtualTime, l.poolQueues.virtualTime)
+		q.info.VirtualTime = max(q.info.VirtualTime, q.poolQueues.virtualTime)
 	} else {
-		l.last.next = w
+		q.last.next = w
 	}
-	l.last = w
-	l.length++
-	l.Customer.Waiting++
+	q.last = w
+	q.length++
+	q.Customer.Waiting++
 }
 
-func (l *Queue[R]) remove(w *Waiter[R]) {
+func (q *Queue[R]) remove(w *Waiter[R]) {
 	if w.prev == nil {
-		l.first = w.next
+		q.first = w.next
 	} else {
 		w.prev.next = w.next
 	}
 	if w.next == nil {
-		l.last = w.prev
+		q.last = w.prev
 	} else {
 		w.next.prev = w.prev
 	}
 	w.prev, w.next = nil, nil
-	l.length--
-	l.Customer.Waiting--
-	if l.first != nil {
-		l.info.FirstArrival = l.first.arrival
+	q.length--
+	q.Customer.Waiting--
+	if q.first != nil {
+		q.info.FirstArrival = q.first.arrival
 		return
 	}
-	h := l.poolQueues
+	h := q.poolQueues
 	end := len(h.active) - 1
-	h.active[l.activeIndex] = h.active[end]
-	h.active[l.activeIndex].activeIndex = l.activeIndex
+	h.active[q.activeIndex] = h.active[end]
+	h.active[q.activeIndex].activeIndex = q.activeIndex
 	h.active[end] = nil
 	h.active = h.active[:end]
 }
 
 // advanceVirtualTime advances the virtual time of the queue by one request.
-func (l *Queue[R]) advanceVirtualTime() {
-	l.info.VirtualTime = max(l.info.VirtualTime, l.poolQueues.virtualTime)
-	l.poolQueues.virtualTime = l.info.VirtualTime
-	l.info.VirtualTime += 1 / float64(l.info.Weight)
+func (q *Queue[R]) advanceVirtualTime() {
+	q.info.VirtualTime = max(q.info.VirtualTime, q.poolQueues.virtualTime)
+	q.poolQueues.virtualTime = q.info.VirtualTime
+	q.info.VirtualTime += 1 / float64(q.info.Weight)
 }
 
 // expire removes the waiters whose deadline is at or before now.
-func (l *Queue[R]) expire(now clock.Millis, late []R) []R {
-	for w := l.first; w != nil; {
+func (q *Queue[R]) expire(now clock.Millis, late []R) []R {
+	for w := q.first; w != nil; {
 		next := w.next
 		if w.Deadline <= now {
-			l.remove(w)
+			q.remove(w)
 			late = append(late, w.Ref)
 		}
 		w = next
@@ -125,10 +125,10 @@
 	return late
 }
 
-func (l *Queue[R]) clear(out []R) []R {
-	for l.first != nil {
-		out = append(out, l.first.Ref)
-		l.remove(l.first)
+func (q *Queue[R]) clear(out []R) []R {
+	for q.first != nil {
+		out = append(out, q.first.Ref)
+		q.remove(q.first)
 	}
 	return out
 }
@@ -138,10 +138,10 @@
 // starts now is likely to have ended.
 func (h *poolQueues[R]) dropUnfinishable(end clock.Millis, late []R) []R {
 	for i := len(h.active) - 1; i >= 0; i-- {
-		l := h.active[i]
-		for l.first != nil && l.first.Deadline <= end {
-			late = append(late, l.first.Ref)
-			l.remove(l.first)
+		q := h.active[i]
+		for q.first != nil && q.first.Deadline <= end {
+			late = append(late, q.first.Ref)
+			q.remove(q.first)
 		}
 	}
 	return late
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -144,10 +144,10 @@
 	if name == "" {
 		return invalid("the contract names no customer")
 	}
-	held := s.Contracts[name]
+	current := s.Contracts[name]
 	object := "contract " + string(name)
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, contractDiff(held, c.Contract))
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, contractDiff(current, c.Contract))
 	}
 	next := c.Contract
 	next.Version = index
@@ -158,13 +158,13 @@
 }
 
 func (s *State) removeContract(index model.Version, c model.Change) model.Result {
-	held, ok := s.Contracts[c.Customer]
+	current, ok := s.Contracts[c.Customer]
 	object := "contract " + string(c.Customer)
 	if !ok {
 		return s.removalConflict(object)
 	}
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, nil)
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, nil)
 	}
 	delete(s.Contracts, c.Customer)
 	s.recordRemoval(object, c.Author, index)
@@ -177,10 +177,10 @@
 	if m.Name == "" {
 		return invalid("the maintenance has no name")
 	}
-	held := s.Maintenance[m.Name]
+	current := s.Maintenance[m.Name]
 	object := "maintenance " + m.Name
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, maintenanceDiff(held, m))
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, maintenanceDiff(current, m))
 	}
 	m.Version = index
 	m.DeclaredAt = s.Time
@@ -190,13 +190,13 @@
 }
 
 func (s *State) cancelMaintenance(index model.Version, c model.Change) model.Result {
-	held, ok := s.Maintenance[c.Maintenance.Name]
+	current, ok := s.Maintenance[c.Maintenance.Name]
 	object := "maintenance " + c.Maintenance.Name
 	if !ok {
 		return s.removalConflict(object)
 	}
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, nil)
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, nil)
 	}
 	delete(s.Maintenance, c.Maintenance.Name)
 	s.recordRemoval(object, c.Author, index)
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -14,17 +14,17 @@
 	s.setIncarnation(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
-		held, ok := s.Claims.Get(claim.Key)
+		current, ok := s.Claims.Get(claim.Key)
 		switch {
 		case claim.Token == "" || claim.Key.Key == "":
 			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: model.ClaimUnknown})
 		case !ok:
 			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Incarnation: c.Incarnation}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
-		case held.Token == claim.Token && held.State == model.ClaimRunning:
+		case current.Token == claim.Token && current.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		default:
-			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: held.State, Status: held.Status})
+			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: current.State, Status: current.Status})
 		}
 	}
 	return r
@@ -34,17 +34,17 @@
 // the requests of earlier incarnations have ended with their process, so the
 // state of their running claims becomes unknown. All claims are scanned once for
 // each new incarnation.
-func (s *State) setIncarnation(p model.Process, run uint64) {
-	held, known := s.Incarnations[p]
-	if p == "" || run <= held || (!known && len(s.Incarnations) >= MaxIncarnations) {
+func (s *State) setIncarnation(p model.Process, incarnation uint64) {
+	current, known := s.Incarnations[p]
+	if p == "" || incarnation <= current || (!known && len(s.Incarnations) >= MaxIncarnations) {
 		return
 	}
-	s.Incarnations[p] = run
+	s.Incarnations[p] = incarnation
 	if !known {
 		return
 	}
 	s.Claims.Each(func(k model.ClaimKey, c HeldClaim, _ clock.Millis) {
-		if c.Owner == p && c.Incarnation < run && c.State == model.ClaimRunning {
+		if c.Owner == p && c.Incarnation < incarnation && c.State == model.ClaimRunning {
 			c.State = model.ClaimUnknown
 			s.Claims.Update(k, c)
 		}
@@ -57,17 +57,17 @@
 // the claim of a request that ran.
 func (s *State) applyOutcomes(index model.Version, c model.Change) model.Result {
 	for _, o := range c.Outcomes {
-		held, ok := s.Claims.Get(o.Key)
-		if !ok || held.Token != o.Token || held.State != model.ClaimRunning {
+		current, ok := s.Claims.Get(o.Key)
+		if !ok || current.Token != o.Token || current.State != model.ClaimRunning {
 			continue
 		}
 		if o.NotRun {
 			s.Claims.Remove(o.Key)
 			continue
 		}
-		held.State = o.State
-		held.Status = o.Status
-		s.Claims.Update(o.Key, held)
+		current.State = o.State
+		current.Status = o.Status
+		s.Claims.Update(o.Key, current)
 	}
 	return model.Result{Version: index}
 }
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -32,11 +32,11 @@
 			return invalid(fmt.Sprintf("two steps for instance %s in one change", id))
 		}
 		seen[id] = true
-		held := s.Instances[id]
-		if held.Version != step.Base {
-			return s.conflict("instance "+string(id), held.Version, nil)
+		current := s.Instances[id]
+		if current.Version != step.Base {
+			return s.conflict("instance "+string(id), current.Version, nil)
 		}
-		if err := checkStep(held, step.Instance); err != "" {
+		if err := checkStep(current, step.Instance); err != "" {
 			return invalid(err)
 		}
 	}
@@ -59,18 +59,18 @@
 // ends an outage, it also records the outage. now is the state's time rather than
 // that of the change: a new leader's clock may be behind, and an outage must not
 // end before its start.
-func (s *State) withTimes(held, next model.Instance, now clock.Millis) model.Instance {
-	next.PhaseSince = held.PhaseSince
-	if held.ID == "" || next.Phase != held.Phase {
+func (s *State) withTimes(current, next model.Instance, now clock.Millis) model.Instance {
+	next.PhaseSince = current.PhaseSince
+	if current.ID == "" || next.Phase != current.Phase {
 		next.PhaseSince = now
 	}
-	next.OutSince = held.OutSince
+	next.OutSince = current.OutSince
 	switch {
-	case next.OutOfService() && held.OutSince == 0:
+	case next.OutOfService() && current.OutSince == 0:
 		next.OutSince = now
-	case !next.OutOfService() && held.OutSince != 0:
+	case !next.OutOfService() && current.OutSince != 0:
 		next.OutSince = 0
-		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.OutSince, To: now})
+		s.Outages = append(s.Outages, model.Outage{Instance: current.ID, Pool: current.Pool, From: current.OutSince, To: now})
 		if over := len(s.Outages) - MaxOutages; over > 0 {
 			s.Outages = s.Outages[over:]
 		}
@@ -80,7 +80,7 @@
 
 // checkStep returns the reason why the step is not allowed; empty if it is. The
 // checks ensure that an instance belongs to exactly one pool.
-func checkStep(held, next model.Instance) string {
+func checkStep(current, next model.Instance) string {
 	switch {
 	case next.ID == "" || next.Pool == "" || next.Zone == "":
 		return "the step names no instance, no pool or no zone"
@@ -90,14 +90,14 @@
 		return fmt.Sprintf("instance %s has a negative number of slots or connections", next.ID)
 	case next.Phase == model.PhaseReleasing && next.Target == "":
 		return fmt.Sprintf("the release of instance %s names no target pool", next.ID)
-	case held.ID == "":
+	case current.ID == "":
 		return checkEnrolment(next)
-	case held.Zone != next.Zone:
-		return fmt.Sprintf("instance %s is in zone %s, not %s", held.ID, held.Zone, next.Zone)
-	case !slices.Contains(transitions[held.Phase], next.Phase):
-		return fmt.Sprintf("instance %s of pool %s is %s and cannot become %s", held.ID, held.Pool, held.Phase, next.Phase)
-	case held.Pool != next.Pool && !finishesMove(held, next):
-		return fmt.Sprintf("instance %s was not released from pool %s to pool %s", held.ID, held.Pool, next.Pool)
+	case current.Zone != next.Zone:
+		return fmt.Sprintf("instance %s is in zone %s, not %s", current.ID, current.Zone, next.Zone)
+	case !slices.Contains(transitions[current.Phase], next.Phase):
+		return fmt.Sprintf("instance %s of pool %s is %s and cannot become %s", current.ID, current.Pool, current.Phase, next.Phase)
+	case current.Pool != next.Pool && !finishesMove(current, next):
+		return fmt.Sprintf("instance %s was not released from pool %s to pool %s", current.ID, current.Pool, next.Pool)
 	}
 	return ""
 }
@@ -111,8 +111,8 @@
 
 // finishesMove reports whether the step ends a release in its target pool. No
 // other step may change the pool of an instance.
-func finishesMove(held, next model.Instance) bool {
-	return held.Phase == model.PhaseReleasing && next.Phase == model.PhaseServing && next.Pool == held.Target
+func finishesMove(current, next model.Instance) bool {
+	return current.Phase == model.PhaseReleasing && next.Phase == model.PhaseServing && next.Pool == current.Target
 }
 
 // dropRetired removes the instances that were retired first while there are more
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -37,8 +37,8 @@
 	for _, w := range it.observedIn {
 		w.observedCount--
 	}
-	if y := b.dueByPool[it.inst.Pool]; y != nil {
-		y.remove(it)
+	if q := b.dueByPool[it.inst.Pool]; q != nil {
+		q.remove(it)
 	}
 	it.wave, it.pendingIn, it.maintainedBy = nil, it.pendingIn[:0], it.maintainedBy[:0]
 	it.peerIn, it.observedIn = it.peerIn[:0], it.observedIn[:0]
@@ -76,12 +76,12 @@
 	if !it.unavailable {
 		return
 	}
-	why := causeLoss
+	outCause := causeLoss
 	switch {
 	case inMaintenance(it.inst):
-		why = causeMaintenance
+		outCause = causeMaintenance
 	case !lost:
-		why = causeMove
+		outCause = causeMove
 	}
 	from, ok := b.openOutages[it.inst.ID]
 	switch {
@@ -92,7 +92,7 @@
 		from = it.observation.LostSince
 	}
 	for _, c := range b.customersByPool[it.inst.Pool] {
-		b.customers[c].add(it.inst, why, from)
+		b.customers[c].add(it.inst, outCause, from)
 		b.markPools(b.customers[c])
 	}
 }
@@ -191,12 +191,12 @@
 }
 
 func (b *Planner[P, J]) dueQueue(p model.Pool) *dueQueue {
-	y := b.dueByPool[p]
-	if y == nil {
-		y = &dueQueue{}
-		b.dueByPool[p] = y
+	q := b.dueByPool[p]
+	if q == nil {
+		q = &dueQueue{}
+		b.dueByPool[p] = q
 	}
-	return y
+	return q
 }
 
 // processChanges handles the timers that have expired and counts the changed
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -49,7 +49,8 @@
 type unavailability struct {
 	cause  cause
 	domain string
-	from   clock.Millis
+	// from is the time since which the instance has been out of service.
+	from clock.Millis
 }
 
 func newCustomerState(c model.Contract) *customerState {
@@ -121,40 +122,41 @@
 
 // windowUsed returns the time out of service in the budget window that ends
 // now, plus the time that the open outages and tentative releases are expected
-// to add; step is the expected duration of one maintenance. A window that ends
-// later contains no more past outages than this one, so a release that fits
-// this window also fits all later ones.
-func (a *customerState) windowUsed(now, step clock.Millis, closed func(model.Pool) []Outage) clock.Millis {
+// to add. duration is the expected duration of one maintenance, finished returns
+// the finished outages of a pool. A window that ends later contains no more past
+// outages than this one, so a release that fits this window also fits all later
+// ones.
+func (a *customerState) windowUsed(now, duration clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
 	if a.usedAt != now {
 		a.usedAt, a.usedMillis = now, 0
 		start := now - a.contract.WindowMillis
 		for _, p := range a.pools {
-			for _, o := range closed(p) {
+			for _, o := range finished(p) {
 				a.usedMillis += max(0, o.To-max(o.From, start))
 			}
 		}
 		for _, o := range a.unavailable {
 			past := now - max(o.from, start)
 			if o.cause == causeLoss {
-				a.usedMillis += past + step
+				a.usedMillis += past + duration
 				continue
 			}
-			a.usedMillis += max(past, step)
+			a.usedMillis += max(past, duration)
 		}
 	}
-	return a.usedMillis + clock.Millis(a.tentativeReleases)*step
+	return a.usedMillis + clock.Millis(a.tentativeReleases)*duration
 }
 
 // windowFreeAt returns the earliest time at which finished outages totalling
 // need have left the budget window, or 0 if the finished outages total less
 // than need. Concurrent outages leave the window concurrently, so the time is
 // found by binary search.
-func (a *customerState) windowFreeAt(now, need clock.Millis, closed func(model.Pool) []Outage) clock.Millis {
+func (a *customerState) windowFreeAt(now, need clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
 	start := now - a.contract.WindowMillis
 	freed := func(by clock.Millis) clock.Millis {
 		sum := clock.Millis(0)
 		for _, p := range a.pools {
-			for _, o := range closed(p) {
+			for _, o := range finished(p) {
 				sum += max(0, min(o.To, by-a.contract.WindowMillis)-max(o.From, start))
 			}
 		}
--- a/core/state/maint/due_queue.go
+++ b/core/state/maint/due_queue.go
@@ -23,8 +23,8 @@
 
 // find returns the index of the instance's rack in racks, or the index at which
 // to insert it.
-func (y *dueQueue) find(i model.Instance) (at int, ok bool) {
-	return slices.BinarySearchFunc(y.racks, i, func(s *rackQueue, i model.Instance) int {
+func (q *dueQueue) find(i model.Instance) (at int, ok bool) {
+	return slices.BinarySearchFunc(q.racks, i, func(s *rackQueue, i model.Instance) int {
 		if c := strings.Compare(string(s.zone), string(i.Zone)); c != 0 {
 			return c
 		}
@@ -43,32 +43,32 @@
 	return strings.Compare(string(a.inst.ID), string(b.inst.ID))
 }
 
-func (y *dueQueue) add(it *item) {
-	at, ok := y.find(it.inst)
+func (q *dueQueue) add(it *item) {
+	at, ok := q.find(it.inst)
 	if !ok {
-		y.racks = slices.Insert(y.racks, at, &rackQueue{zone: it.inst.Zone, rack: it.inst.Rack})
+		q.racks = slices.Insert(q.racks, at, &rackQueue{zone: it.inst.Zone, rack: it.inst.Rack})
 	}
-	s := y.racks[at]
+	s := q.racks[at]
 	pos, _ := slices.BinarySearchFunc(s.items, it, byDeadline)
 	s.items = slices.Insert(s.items, pos, it)
 }
 
-func (y *dueQueue) remove(it *item) {
-	at, ok := y.find(it.inst)
+func (q *dueQueue) remove(it *item) {
+	at, ok := q.find(it.inst)
 	if !ok {
 		return
 	}
-	s := y.racks[at]
+	s := q.racks[at]
 	s.items = slices.DeleteFunc(s.items, func(x *item) bool { return x == it })
 	if len(s.items) == 0 {
-		y.racks = slices.Delete(y.racks, at, at+1)
+		q.racks = slices.Delete(q.racks, at, at+1)
 	}
 }
 
 // first returns the item with the earliest deadline; nil if the queue is empty.
-func (y *dueQueue) first() *item {
+func (q *dueQueue) first() *item {
 	var best *item
-	for _, s := range y.racks {
+	for _, s := range q.racks {
 		if best == nil || byDeadline(s.items[0], best) < 0 {
 			best = s.items[0]
 		}
@@ -79,8 +79,8 @@
 // racksByDeadline returns the racks sorted by their earliest deadline, then by
 // zone and rack, so that racks with the same deadline are processed one after
 // the other, zone by zone.
-func (y *dueQueue) racksByDeadline() []*rackQueue {
-	out := slices.Clone(y.racks)
+func (q *dueQueue) racksByDeadline() []*rackQueue {
+	out := slices.Clone(q.racks)
 	slices.SortStableFunc(out, func(a, b *rackQueue) int {
 		switch x, y := a.items[0].deadline, b.items[0].deadline; {
 		case x < y:
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -23,17 +23,17 @@
 // there is none, it returns the first limit that blocks one; nil if no instance
 // is due. taken holds the instances already released in this pass.
 func (b *Planner[P, J]) nextRelease(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
-	var first *Wait
-	var held []*wave
+	var firstWait *Wait
+	var blockedWaves []*wave
 	for _, s := range b.dueByPool[p].racksByDeadline() {
-		if first != nil && b.inOtherDomain(p, s.items[0].inst) {
+		if firstWait != nil && b.inOtherDomain(p, s.items[0].inst) {
 			// Every instance of the rack is blocked and the wait to report is
 			// known already. Most racks of a large pool end here.
 			continue
 		}
 	rack:
 		for _, it := range s.items {
-			if taken[it] || slices.Contains(held, it.wave) {
+			if taken[it] || slices.Contains(blockedWaves, it.wave) {
 				continue
 			}
 			wait, sc := b.limitFor(it, now)
@@ -43,18 +43,18 @@
 			if sc == scopePool {
 				return nil, wait
 			}
-			if first == nil {
-				first = wait
+			if firstWait == nil {
+				firstWait = wait
 			}
 			switch sc {
 			case scopeRack:
 				break rack
 			case scopeWave:
-				held = append(held, it.wave)
+				blockedWaves = append(blockedWaves, it.wave)
 			}
 		}
 	}
-	return nil, first
+	return nil, firstWait
 }
 
 // inOtherDomain reports whether a customer of the pool has instances outside
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -28,6 +28,8 @@
 	return plan
 }
 
+// evaluateWaves applies the stop policy to each wave and adds the stopped ones to
+// the plan.
 func (b *Planner[P, J]) evaluateWaves(plan *Plan) {
 	for _, name := range b.waveNames {
 		w := b.waves[name]
@@ -47,13 +49,13 @@
 
 // planInProgress adds the steps of the instances whose maintenance has started.
 func (b *Planner[P, J]) planInProgress(now clock.Millis, plan *Plan) {
-	back := map[model.Customer]int{}
+	takenBack := map[model.Customer]int{}
 	for _, id := range sortedKeys(b.inProgress) {
 		it := b.inProgress[id]
 		step := Step{Instance: id, Pool: it.inst.Pool, Wave: it.wave.decl.Name}
 		switch {
 		case it.inst.Phase == model.PhaseReleasing:
-			step.Kind, step.Reason = b.planReleasing(it, now, back)
+			step.Kind, step.Reason = b.planReleasing(it, now, takenBack)
 		case it.observation.Verified && it.observation.Restarted:
 			step.Kind, step.Done, step.Reason = StepReturn, true, "restarted and verified"
 		case it.observation.Restarted:
@@ -73,13 +75,13 @@
 
 // planReleasing returns the step of a releasing instance: back to service if its
 // release is no longer allowed, for example after an unplanned loss, or over to
-// the platform once it is drained. back counts the releases taken back in this
-// pass, by customer. The kind is empty while the instance has to wait.
-func (b *Planner[P, J]) planReleasing(it *item, now clock.Millis, back map[model.Customer]int) (StepKind, string) {
-	reason := b.takeBackReason(it, now, back)
+// the platform once it is drained. takenBack counts the releases taken back in
+// this pass, by customer. The kind is empty while the instance has to wait.
+func (b *Planner[P, J]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
+	reason := b.takeBackReason(it, now, takenBack)
 	if reason != "" {
 		for _, c := range b.customersByPool[it.inst.Pool] {
-			back[c]++
+			takenBack[c]++
 		}
 		return StepReturn, reason
 	}
@@ -91,7 +93,7 @@
 
 // takeBackReason returns the reason why a release must be taken back; empty if
 // it may continue.
-func (b *Planner[P, J]) takeBackReason(it *item, now clock.Millis, back map[model.Customer]int) string {
+func (b *Planner[P, J]) takeBackReason(it *item, now clock.Millis, takenBack map[model.Customer]int) string {
 	if b.waves[it.wave.decl.Name] == nil {
 		return "the declaration was cancelled"
 	}
@@ -100,13 +102,13 @@
 	}
 	for _, c := range b.customersByPool[it.inst.Pool] {
 		a := b.customers[c]
-		if n := a.total - back[c]; n > a.contract.MaxUnavailable {
+		if n := a.total - takenBack[c]; n > a.contract.MaxUnavailable {
 			return fmt.Sprintf("%d instances of %s are out of service; the contract allows %d", n, c, a.contract.MaxUnavailable)
 		}
 		if a.lostInOtherDomain(a.domainOf(it.inst)) {
 			return fmt.Sprintf("%s lost an instance in another %s", c, a.contract.Covers)
 		}
-		used := a.windowUsed(now, b.settings.MaintenanceMillis, b.outages) - clock.Millis(back[c])*b.settings.MaintenanceMillis
+		used := a.windowUsed(now, b.settings.MaintenanceMillis, b.outages) - clock.Millis(takenBack[c])*b.settings.MaintenanceMillis
 		if a.contract.WindowMillis > 0 && used > a.contract.BudgetMillis {
 			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, a.contract.BudgetMillis)
 		}
@@ -121,19 +123,19 @@
 func (b *Planner[P, J]) planReleases(now clock.Millis, plan *Plan) {
 	pools := sortedKeys(b.changedPools)
 	clear(b.changedPools)
-	first := map[model.Pool]clock.Millis{}
+	earliest := map[model.Pool]clock.Millis{}
 	pools = slices.DeleteFunc(pools, func(p model.Pool) bool {
 		delete(b.waits, p)
-		y := b.dueByPool[p]
-		if y == nil || len(y.racks) == 0 {
+		q := b.dueByPool[p]
+		if q == nil || len(q.racks) == 0 {
 			return true
 		}
-		first[p] = y.first().deadline
+		earliest[p] = q.first().deadline
 		return false
 	})
-	slices.SortStableFunc(pools, func(x, y model.Pool) int { return cmp.Compare(first[x], first[y]) })
+	slices.SortStableFunc(pools, func(x, y model.Pool) int { return cmp.Compare(earliest[x], earliest[y]) })
 	taken := map[*item]bool{}
-	var order []*item
+	var released []*item
 	for _, p := range pools {
 		for {
 			it, wait := b.nextRelease(p, now, taken)
@@ -142,7 +144,7 @@
 				break
 			}
 			taken[it] = true
-			order = append(order, it)
+			released = append(released, it)
 			plan.Steps = append(plan.Steps, Step{
 				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: b.releaseReason(it),
 			})
@@ -151,12 +153,14 @@
 	}
 	// The tentative counts apply to this pass only: a release that is carried
 	// out is counted when the instance's phase changes.
-	for _, it := range order {
+	for _, it := range released {
 		b.reserve(it, -1)
 		b.changedPools[it.inst.Pool] = true
 	}
 }
 
+// recordWait records why due instances of the pool wait, and sets a timer for the
+// time at which to evaluate the pool again. It does nothing if w is nil.
 func (b *Planner[P, J]) recordWait(p model.Pool, w *Wait) {
 	if w == nil {
 		return
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -164,17 +164,17 @@
 	if r == nil {
 		return nil
 	}
-	held := r.Announcement
+	current := r.Announcement
 	switch {
-	case a.Incarnation < held.Incarnation:
-		return refusal(KindIncarnation, "incarnation %d of %s is below %d", a.Incarnation, a.Instance, held.Incarnation)
-	case a.Incarnation > held.Incarnation:
+	case a.Incarnation < current.Incarnation:
+		return refusal(KindIncarnation, "incarnation %d of %s is below %d", a.Incarnation, a.Instance, current.Incarnation)
+	case a.Incarnation > current.Incarnation:
 		return nil
-	case a.Pool != held.Pool:
-		return refusal(KindPool, "%s announced pool %s and %s under incarnation %d", a.Instance, held.Pool, a.Pool, a.Incarnation)
-	case a.Address != held.Address:
-		return refusal(KindAddress, "%s announced address %s and %s under incarnation %d", a.Instance, held.Address, a.Address, a.Incarnation)
-	case held.State == model.AnnounceLeaving && a.State != model.AnnounceLeaving:
+	case a.Pool != current.Pool:
+		return refusal(KindPool, "%s announced pool %s and %s under incarnation %d", a.Instance, current.Pool, a.Pool, a.Incarnation)
+	case a.Address != current.Address:
+		return refusal(KindAddress, "%s announced address %s and %s under incarnation %d", a.Instance, current.Address, a.Address, a.Incarnation)
+	case current.State == model.AnnounceLeaving && a.State != model.AnnounceLeaving:
 		return refusal(KindStale, "%s is leaving under incarnation %d", a.Instance, a.Incarnation)
 	}
 	return nil
