--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -46,31 +46,32 @@
 	assert.Equal(t, LimitOf(c, slots).MaxInFlight, 5)
 }
 
-// world runs a controller against a pool with a number of slots, and tracks the
+// simulation runs a controller against a pool with a number of slots, and tracks the
 // running and waiting requests independently of it.
-type world struct {
-	g       *Controller[WeightedFair, int]
-	slots   int
-	running map[model.Customer]int
-	lines   []*Queue[int]
-	waiting map[int]*Waiter[int]
-	limits  map[model.Customer]Limit
-	next    int
-	now     clock.Millis
+type simulation struct {
+	g             *Controller[WeightedFair, int]
+	slots         int
+	running       map[model.Customer]int
+	runningQueues []*Queue[int]
+	waiting       map[int]*Waiter[int]
+	limits        map[model.Customer]Limit
+	next          int
+	now           clock.Millis
 }
 
-func (w *world) inFlight() int { return len(w.lines) }
+func (w *simulation) inFlight() int { return len(w.runningQueues) }
 
-func (w *world) drop(ids []int) {
+func (w *simulation) removeWaiting(ids []int) {
 	for _, id := range ids {
 		delete(w.waiting, id)
 	}
 }
 
-func (w *world) pump(t *rapid.T) {
+// startWaiters starts waiters until all slots are in use or none may run.
+func (w *simulation) startWaiters(t *rapid.T) {
 	for w.inFlight() < w.slots {
 		wt, late := w.g.Next(w.now, "p", nil)
-		w.drop(late)
+		w.removeWaiting(late)
 		if wt == nil {
 			assert.Assert(t, !w.g.HasRunnable("p"), "a waiter that may run was not chosen")
 			return
@@ -78,7 +79,7 @@
 		assert.Assert(t, wt.Deadline > w.now, "an expired waiter was run")
 		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
 		delete(w.waiting, wt.Ref)
-		w.lines = append(w.lines, wt.Queue())
+		w.runningQueues = append(w.runningQueues, wt.Queue())
 		w.running[wt.Queue().Customer.Name]++
 	}
 }
@@ -87,7 +88,7 @@
 // cancelled requests that run, and requests that are lost or never removed.
 func TestGateKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{
+		w := &simulation{
 			g: New[WeightedFair, int](WeightedFair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
 			running: map[model.Customer]int{}, waiting: map[int]*Waiter[int]{}, limits: map[model.Customer]Limit{},
 		}
@@ -108,7 +109,7 @@
 				}
 				if q.CanRun() && q.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
 					w.g.Start(q)
-					w.lines = append(w.lines, q)
+					w.runningQueues = append(w.runningQueues, q)
 					w.running[c]++
 					return
 				}
@@ -119,15 +120,15 @@
 				}
 			},
 			"end": func(t *rapid.T) {
-				if len(w.lines) == 0 {
+				if len(w.runningQueues) == 0 {
 					t.Skip()
 				}
-				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
-				q := w.lines[i]
-				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
+				i := rapid.IntRange(0, len(w.runningQueues)-1).Draw(t, "which")
+				q := w.runningQueues[i]
+				w.runningQueues = append(w.runningQueues[:i:i], w.runningQueues[i+1:]...)
 				w.running[q.Customer.Name]--
 				w.g.End(q, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
-				w.pump(t)
+				w.startWaiters(t)
 			},
 			"cancel": func(t *rapid.T) {
 				for id, wt := range w.waiting {
@@ -138,7 +139,7 @@
 			},
 			"time": func(t *rapid.T) {
 				w.now += clock.Millis(rapid.IntRange(1, 30).Draw(t, "ms"))
-				w.drop(w.g.Expire(w.now, nil))
+				w.removeWaiting(w.g.Expire(w.now, nil))
 			},
 			"": func(t *rapid.T) {
 				waits := 0
--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -40,6 +40,7 @@
 	return reasonNames[r]
 }
 
+// Parameters of the run time and wait estimates.
 const (
 	// runTimeWeight is the weight of a new sample in the typical run time.
 	runTimeWeight = 0.1
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -125,6 +125,8 @@
 	}
 }
 
+// exists reports whether an object exists; its name is a key of Authors, the kind of
+// object and its name separated by a space.
 func (s *State) exists(object string) bool {
 	kind, name, _ := strings.Cut(object, " ")
 	var ok bool
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -130,12 +130,12 @@
 		f.Instances[k].Slots = 4 + k%3*4
 	}
 	c := contract(42, 8, model.DomainRack)
-	run(b, "lowest", MinSlots{}, c, f)
-	run(b, "mean", MeanSlots{}, c, f)
-	run(b, "fixed-8", FixedSlots{N: 8}, c, f)
+	benchSlotsPolicy(b, "lowest", MinSlots{}, c, f)
+	benchSlotsPolicy(b, "mean", MeanSlots{}, c, f)
+	benchSlotsPolicy(b, "fixed-8", FixedSlots{N: 8}, c, f)
 }
 
-func run[P SlotsPolicy](b *testing.B, name string, p P, c model.Contract, f Fleet) {
+func benchSlotsPolicy[P SlotsPolicy](b *testing.B, name string, p P, c model.Contract, f Fleet) {
 	b.Run(name, func(b *testing.B) {
 		var s Set
 		for b.Loop() {
@@ -150,12 +150,12 @@
 // to sixty instances, and how many of those that it accepts need more instances
 // than the fleet owns.
 func BenchmarkSeverity(b *testing.B) {
-	judged(b, "stated", RefuseImpossible{})
-	judged(b, "strict", RefuseAny{})
-	judged(b, "form-only", RefuseInvalid{})
+	benchRefusalPolicy(b, "stated", RefuseImpossible{})
+	benchRefusalPolicy(b, "strict", RefuseAny{})
+	benchRefusalPolicy(b, "form-only", RefuseInvalid{})
 }
 
-func judged[S RefusalPolicy](b *testing.B, name string, severity S) {
+func benchRefusalPolicy[S RefusalPolicy](b *testing.B, name string, severity S) {
 	b.Run(name, func(b *testing.B) {
 		count := map[Decision]float64{}
 		broken := 0.0
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -70,6 +70,8 @@
 	b.setItemTimer(it, b.nextChange(it, now))
 }
 
+// countUnavailable counts the instance as unavailable for the customers of its pool
+// if it is out of service.
 func (b *Planner[P, J]) countUnavailable(it *item) {
 	lost := it.observation.LostSince > 0
 	it.unavailable = it.inst.Phase != model.PhaseServing || lost
@@ -97,6 +99,9 @@
 	}
 }
 
+// countInWave counts the instance for one wave: as pending if the wave still has to
+// maintain it, as touched or peer, and as observed once the canary time has passed
+// since its maintenance.
 func (b *Planner[P, J]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
 	if deadline, ok := w.needs(b.settings, it.inst, now); ok {
 		it.pendingIn = append(it.pendingIn, w)
@@ -182,6 +187,8 @@
 	return next
 }
 
+// setItemTimer sets the timer of the item to next, unless it has an earlier one or
+// next is 0.
 func (b *Planner[P, J]) setItemTimer(it *item, next clock.Millis) {
 	if next == 0 || (it.timerAt != 0 && it.timerAt <= next) {
 		return
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -209,6 +209,7 @@
 	b.checkAllWaves()
 }
 
+// uncountPool removes the instances of the pool from all counts until the next pass.
 func (b *Planner[P, J]) uncountPool(p model.Pool) {
 	b.changedPools[p] = true
 	for _, it := range b.itemsByPool[p] {
@@ -279,6 +280,7 @@
 	b.markPools(a)
 }
 
+// markPools marks the pools of the customer for evaluation in the next pass.
 func (b *Planner[P, J]) markPools(a *customerState) {
 	for _, p := range a.pools {
 		b.changedPools[p] = true
--- a/core/state/maint/stop_policy.go
+++ b/core/state/maint/stop_policy.go
@@ -23,8 +23,9 @@
 }
 
 // StopPolicy decides whether to stop a wave because the instances that it
-// touched fail more often than their untouched peers. StopReason returns an empty
-// reason if the wave may continue.
+// touched fail more often than their peers. A wave has touched the instances that
+// it maintained and those that are stuck in its maintenance. StopReason returns an
+// empty reason if the wave may continue.
 type StopPolicy interface {
 	StopReason(touched, peers Tally) (reason string)
 }
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -99,7 +99,7 @@
 		now := clock.Millis(0)
 		expires := map[model.InstanceID]clock.Millis{}
 		incarnation := map[model.InstanceID]uint64{}
-		lapsed := map[model.InstanceID]bool{}
+		expired := map[model.InstanceID]bool{}
 		t.Repeat(map[string]func(*rapid.T){
 			"announce": func(t *rapid.T) {
 				a := announcement(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
@@ -114,22 +114,22 @@
 				if a.Incarnation == incarnation[a.Instance] {
 					end = max(end, expires[a.Instance])
 				}
-				expires[a.Instance], incarnation[a.Instance], lapsed[a.Instance] = end, a.Incarnation, false
+				expires[a.Instance], incarnation[a.Instance], expired[a.Instance] = end, a.Incarnation, false
 			},
 			"time": func(t *rapid.T) {
 				now += clock.Millis(rapid.IntRange(1, 800).Draw(t, "ms"))
 				for _, gone := range r.Expire(now, nil) {
 					id := gone.Announcement.Instance
-					assert.Assert(t, !lapsed[id], "the end was reported twice")
+					assert.Assert(t, !expired[id], "the end was reported twice")
 					assert.Assert(t, expires[id] <= now)
-					lapsed[id] = true
+					expired[id] = true
 				}
 			},
 			"": func(t *rapid.T) {
 				r.Each(func(rec *Record) {
 					id := rec.Announcement.Instance
 					assert.Equal(t, rec.ExpiresAt, expires[id])
-					assert.Equal(t, rec.Expired, lapsed[id])
+					assert.Equal(t, rec.Expired, expired[id])
 				})
 			},
 		})
@@ -150,17 +150,17 @@
 		}
 		_, err = r.Accept(now, direct(announcement("a", 1)))
 		assert.NilError(t, err)
-		woke := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
-		for _, l := range r.Expire(woke, nil) {
+		resumed := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
+		for _, l := range r.Expire(resumed, nil) {
 			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
 		}
 		a, _ := r.Get("a")
-		assert.Equal(t, a.ExpiresAt, woke+DefaultLease)
+		assert.Equal(t, a.ExpiresAt, resumed+DefaultLease)
 		dead, known := r.Get("dead")
 		assert.Assert(t, !known || dead.Expired, "the pause revived what was gone")
 		gone := 0
 		for step := range clock.Millis(4) {
-			gone += len(r.Expire(woke+step*1000, nil))
+			gone += len(r.Expire(resumed+step*1000, nil))
 		}
 		assert.Equal(t, gone, 1)
 		assert.Equal(t, r.Pauses, 1)
@@ -175,17 +175,17 @@
 		seq, now := uint64(0), clock.Millis(0)
 		for range rapid.IntRange(1, 20).Draw(t, "rounds") {
 			now += 10
-			heard := map[model.InstanceID]bool{}
+			announced := map[model.InstanceID]bool{}
 			for range rapid.IntRange(0, 5).Draw(t, "announcements") {
 				an := announcement(fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "instance")), 1)
 				_, err := a.Accept(now, direct(an))
 				assert.NilError(t, err)
-				heard[an.Instance] = true
+				announced[an.Instance] = true
 			}
-			news, latest := a.UpdatesSince(now+5, seq)
-			assert.Equal(t, len(news), len(heard))
-			for _, h := range news {
-				assert.Assert(t, heard[h.Announcement.Instance] && !h.Direct && h.Age == 5)
+			updates, latest := a.UpdatesSince(now+5, seq)
+			assert.Equal(t, len(updates), len(announced))
+			for _, h := range updates {
+				assert.Assert(t, announced[h.Announcement.Instance] && !h.Direct && h.Age == 5)
 				_, err := b.Accept(now+5, h)
 				assert.NilError(t, err)
 			}
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -97,13 +97,13 @@
 func TestDrainedFollowsRequestsInFlight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
-		type flight struct {
+		type request struct {
 			held Reservation
 			// until is the highest version that may be confirmed while the
 			// request runs.
 			until model.Version
 		}
-		var flights []*flight
+		var requests []*request
 		phase := map[model.InstanceID]model.Phase{}
 		v, again := model.Version(1), false
 		r.Version = v
@@ -111,16 +111,16 @@
 			"pick": func(*rapid.T) {
 				if h, ok := r.Reserve(start, "p", ""); ok {
 					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
-					flights = append(flights, &flight{held: h, until: 1 << 40})
+					requests = append(requests, &request{held: h, until: 1 << 40})
 				}
 			},
 			"end": func(t *rapid.T) {
-				if len(flights) == 0 {
+				if len(requests) == 0 {
 					t.Skip()
 				}
-				k := rapid.IntRange(0, len(flights)-1).Draw(t, "which")
-				r.End(start, flights[k].held, OutcomeOK)
-				flights = append(flights[:k:k], flights[k+1:]...)
+				k := rapid.IntRange(0, len(requests)-1).Draw(t, "which")
+				r.End(start, requests[k].held, OutcomeOK)
+				requests = append(requests[:k:k], requests[k+1:]...)
 			},
 			"step": func(t *rapid.T) {
 				id := model.InstanceID(fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "instance")))
@@ -141,7 +141,7 @@
 					if i.Phase == model.PhaseReleasing {
 						limit = v - 1
 					}
-					for _, f := range flights {
+					for _, f := range requests {
 						if f.held.Upstream.Instance == id {
 							f.until = min(f.until, limit)
 						}
@@ -160,7 +160,7 @@
 			},
 			"": func(*rapid.T) {
 				want, old := v, 0
-				for _, f := range flights {
+				for _, f := range requests {
 					want = min(want, f.until)
 					if f.until <= v {
 						old++
