--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -105,25 +105,25 @@
 
 // timeNeeded returns the time that a request must have left before its deadline
 // when it starts.
-func (h *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(h.likelyRunTime)) }
+func (pq *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(pq.likelyRunTime)) }
 
 // addRunTime updates the estimates with the run time of a request, in
 // milliseconds.
-func (h *poolQueues[R]) addRunTime(elapsed float64) {
-	if h.typicalRunTime == 0 {
-		h.typicalRunTime, h.likelyRunTime = elapsed, elapsed
+func (pq *poolQueues[R]) addRunTime(elapsed float64) {
+	if pq.typicalRunTime == 0 {
+		pq.typicalRunTime, pq.likelyRunTime = elapsed, elapsed
 		return
 	}
-	h.typicalRunTime += runTimeWeight * (elapsed - h.typicalRunTime)
-	step := likelyStep * h.typicalRunTime
-	if elapsed < h.likelyRunTime {
+	pq.typicalRunTime += runTimeWeight * (elapsed - pq.typicalRunTime)
+	step := likelyStep * pq.typicalRunTime
+	if elapsed < pq.likelyRunTime {
 		// Far above the typical run time the estimate falls geometrically.
 		// Otherwise one long request would distort it for thousands of others.
-		step = max(step, (h.likelyRunTime-h.typicalRunTime)*likelyFall)
-		h.likelyRunTime = max(h.likelyRunTime-step*(1-likelyShare), 0)
+		step = max(step, (pq.likelyRunTime-pq.typicalRunTime)*likelyFall)
+		pq.likelyRunTime = max(pq.likelyRunTime-step*(1-likelyShare), 0)
 		return
 	}
-	h.likelyRunTime += step * likelyShare
+	pq.likelyRunTime += step * likelyShare
 }
 
 // New returns a controller without customers.
@@ -192,12 +192,12 @@
 }
 
 func (g *Controller[P, R]) poolQueues(p model.Pool) *poolQueues[R] {
-	h := g.pools[p]
-	if h == nil {
-		h = &poolQueues[R]{}
-		g.pools[p] = h
+	pq := g.pools[p]
+	if pq == nil {
+		pq = &poolQueues[R]{}
+		g.pools[p] = pq
 	}
-	return h
+	return pq
 }
 
 // Queue returns the queue of a customer in a pool, or the reason why requests of
@@ -255,8 +255,8 @@
 
 // TypicalRunTime returns the smoothed run time of a pool; 0 if it is unknown.
 func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
-	if h := g.pools[p]; h != nil {
-		return clock.Millis(h.typicalRunTime)
+	if pq := g.pools[p]; pq != nil {
+		return clock.Millis(pq.typicalRunTime)
 	}
 	return 0
 }
@@ -282,11 +282,11 @@
 // HasRunnable reports whether a pool has a waiter whose customer is below its
 // share.
 func (g *Controller[P, R]) HasRunnable(p model.Pool) bool {
-	h := g.pools[p]
-	if h == nil {
+	pq := g.pools[p]
+	if pq == nil {
 		return false
 	}
-	for _, q := range h.active {
+	for _, q := range pq.active {
 		if q.CanRun() {
 			return true
 		}
@@ -297,12 +297,12 @@
 // RunnableCount returns the number of waiters of a pool that the shares of their
 // customers allow to run now.
 func (g *Controller[P, R]) RunnableCount(p model.Pool) int {
-	h := g.pools[p]
-	if h == nil {
+	pq := g.pools[p]
+	if pq == nil {
 		return 0
 	}
 	n := 0
-	for _, q := range h.active {
+	for _, q := range pq.active {
 		n += max(0, min(q.length, q.Customer.Limit.MaxInFlight-q.Customer.Running))
 	}
 	return n
@@ -312,13 +312,13 @@
 // as running; nil if none may run. Waiters at the head of a queue that can no
 // longer end before their deadline are removed and appended to late.
 func (g *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
-	h := g.pools[p]
-	if h == nil {
+	pq := g.pools[p]
+	if pq == nil {
 		return nil, late
 	}
-	late = h.dropUnfinishable(now+h.timeNeeded(), late)
+	late = pq.dropUnfinishable(now+pq.timeNeeded(), late)
 	g.candidateInfos, g.candidates = g.candidateInfos[:0], g.candidates[:0]
-	for _, q := range h.active {
+	for _, q := range pq.active {
 		if q.CanRun() {
 			g.candidateInfos = append(g.candidateInfos, &q.info)
 			g.candidates = append(g.candidates, q)
@@ -337,9 +337,9 @@
 
 // Expire removes the waiters whose deadline has passed and appends them to late.
 func (g *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
-	for _, h := range g.pools {
-		for i := len(h.active) - 1; i >= 0; i-- {
-			late = h.active[i].expire(now, late)
+	for _, pq := range g.pools {
+		for i := len(pq.active) - 1; i >= 0; i-- {
+			late = pq.active[i].expire(now, late)
 		}
 	}
 	return late
@@ -347,20 +347,20 @@
 
 // Clear removes all waiters of a pool and appends them to out.
 func (g *Controller[P, R]) Clear(p model.Pool, out []R) []R {
-	h := g.pools[p]
-	if h == nil {
+	pq := g.pools[p]
+	if pq == nil {
 		return out
 	}
-	for len(h.active) > 0 {
-		out = h.active[0].clear(out)
+	for len(pq.active) > 0 {
+		out = pq.active[0].clear(out)
 	}
 	return out
 }
 
 // WaitingPools appends the pools that have waiters to buf.
 func (g *Controller[P, R]) WaitingPools(buf []model.Pool) []model.Pool {
-	for p, h := range g.pools {
-		if len(h.active) > 0 {
+	for p, pq := range g.pools {
+		if len(pq.active) > 0 {
 			buf = append(buf, p)
 		}
 	}
--- a/core/state/admit/queue.go
+++ b/core/state/admit/queue.go
@@ -97,12 +97,12 @@
 		q.info.FirstArrival = q.first.arrival
 		return
 	}
-	h := q.poolQueues
-	end := len(h.active) - 1
-	h.active[q.activeIndex] = h.active[end]
-	h.active[q.activeIndex].activeIndex = q.activeIndex
-	h.active[end] = nil
-	h.active = h.active[:end]
+	pq := q.poolQueues
+	end := len(pq.active) - 1
+	pq.active[q.activeIndex] = pq.active[end]
+	pq.active[q.activeIndex].activeIndex = q.activeIndex
+	pq.active[end] = nil
+	pq.active = pq.active[:end]
 }
 
 // advanceVirtualTime advances the virtual time of the queue by one request.
@@ -136,9 +136,9 @@
 // dropUnfinishable removes the waiters at the heads of the queues that cannot end
 // in time: their deadline is at or before end, the time by which a request that
 // starts now is likely to have ended.
-func (h *poolQueues[R]) dropUnfinishable(end clock.Millis, late []R) []R {
-	for i := len(h.active) - 1; i >= 0; i-- {
-		q := h.active[i]
+func (pq *poolQueues[R]) dropUnfinishable(end clock.Millis, late []R) []R {
+	for i := len(pq.active) - 1; i >= 0; i-- {
+		q := pq.active[i]
 		for q.first != nil && q.first.Deadline <= end {
 			late = append(late, q.first.Ref)
 			q.remove(q.first)
--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -12,21 +12,21 @@
 // disruption limits make impossible to meet, for declarations and for periodic
 // maintenance. In pools shared with another customer, the limits of either
 // customer restrict maintenance, so those of the other are checked too.
-func maintenanceShortfalls(set Settings, q Input) []Shortfall {
+func maintenanceShortfalls(set Settings, in Input) []Shortfall {
 	var out []Shortfall
-	own := poolsOf(q.Contract)
-	for _, m := range q.Declarations {
-		out = append(out, deadlineShortfalls(set, q, q.Contract, "maintenance "+m.Name, countDue(q.Fleet, m, own), m.Deadline-q.Now)...)
-		for _, o := range allContracts(q)[1:] {
+	own := poolsOf(in.Contract)
+	for _, m := range in.Declarations {
+		out = append(out, deadlineShortfalls(set, in, in.Contract, "maintenance "+m.Name, countDue(in.Fleet, m, own), m.Deadline-in.Now)...)
+		for _, o := range allContracts(in)[1:] {
 			shared := poolsOf(o)
 			maps.DeleteFunc(shared, func(p model.Pool, _ bool) bool { return !own[p] })
 			name := fmt.Sprintf("maintenance %s in pools shared with %s", m.Name, o.Customer)
-			out = append(out, deadlineShortfalls(set, q, o, name, countDue(q.Fleet, m, shared), m.Deadline-q.Now)...)
+			out = append(out, deadlineShortfalls(set, in, o, name, countDue(in.Fleet, m, shared), m.Deadline-in.Now)...)
 		}
 	}
 	if set.PeriodMillis > 0 {
-		n := PromisedInstances(q.Contract) + q.Contract.Spare
-		out = append(out, deadlineShortfalls(set, q, q.Contract, "periodic maintenance", n, set.PeriodMillis)...)
+		n := PromisedInstances(in.Contract) + in.Contract.Spare
+		out = append(out, deadlineShortfalls(set, in, in.Contract, "periodic maintenance", n, set.PeriodMillis)...)
 	}
 	return out
 }
@@ -56,9 +56,9 @@
 
 // deadlineShortfalls returns the shortfalls of contract c if n instances have to be
 // maintained in the time left. name becomes the subject of the shortfalls.
-func deadlineShortfalls(set Settings, q Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
+func deadlineShortfalls(set Settings, in Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
-	if have := allowedByMaxUnavailable(set, q.Fleet, c, left); int64(n) > have {
+	if have := allowedByMaxUnavailable(set, in.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
--- a/core/state/limits/evaluate.go
+++ b/core/state/limits/evaluate.go
@@ -64,12 +64,12 @@
 
 // Err returns a refusal as an *Error of KindRefused that lists the shortfalls; nil
 // if the contract was accepted.
-func (v Evaluation) Err() error {
-	if v.Decision != Refuse {
+func (e Evaluation) Err() error {
+	if e.Decision != Refuse {
 		return nil
 	}
-	texts := make([]string, 0, len(v.Shortfalls))
-	for _, s := range v.Shortfalls {
+	texts := make([]string, 0, len(e.Shortfalls))
+	for _, s := range e.Shortfalls {
 		texts = append(texts, s.Text)
 	}
 	return &Error{Op: "judge contract", Kind: KindRefused, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
@@ -98,34 +98,34 @@
 
 // Evaluate decides whether to accept a contract. The evaluation contains all
 // shortfalls; a contract that contradicts itself is not checked further.
-func Evaluate[S RefusalPolicy, P SlotsPolicy](severity S, slots P, set Settings, q Input) Evaluation {
-	var v Evaluation
-	if err := Validate(q.Contract); err != nil {
-		v.Shortfalls = append(v.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(q.Contract.Customer), Text: err.Error()})
+func Evaluate[S RefusalPolicy, P SlotsPolicy](policy S, slots P, set Settings, in Input) Evaluation {
+	var e Evaluation
+	if err := Validate(in.Contract); err != nil {
+		e.Shortfalls = append(e.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(in.Contract.Customer), Text: err.Error()})
 	} else {
-		all := allContracts(q)
-		v.Shortfalls = append(v.Shortfalls, instanceShortfalls(all, q.Fleet)...)
-		v.Shortfalls = append(v.Shortfalls, spareShortfalls(q)...)
-		v.Shortfalls = append(v.Shortfalls, slotShortfalls(slots, q)...)
-		v.Shortfalls = append(v.Shortfalls, quotaShortfalls(all, q.Fleet.WorkerResources)...)
-		v.Shortfalls = append(v.Shortfalls, maintenanceShortfalls(set, q)...)
+		all := allContracts(in)
+		e.Shortfalls = append(e.Shortfalls, instanceShortfalls(all, in.Fleet)...)
+		e.Shortfalls = append(e.Shortfalls, spareShortfalls(in)...)
+		e.Shortfalls = append(e.Shortfalls, slotShortfalls(slots, in)...)
+		e.Shortfalls = append(e.Shortfalls, quotaShortfalls(all, in.Fleet.WorkerResources)...)
+		e.Shortfalls = append(e.Shortfalls, maintenanceShortfalls(set, in)...)
 	}
-	v.Decision = Accept
-	for _, s := range v.Shortfalls {
-		if v.Decision != Refuse {
-			v.Decision = AcceptWithShortfall
+	e.Decision = Accept
+	for _, s := range e.Shortfalls {
+		if e.Decision != Refuse {
+			e.Decision = AcceptWithShortfall
 		}
-		if severity.Refuses(s) {
-			v.Decision = Refuse
+		if policy.Refuses(s) {
+			e.Decision = Refuse
 		}
 	}
-	return v
+	return e
 }
 
-func allContracts(q Input) []model.Contract {
-	all := []model.Contract{q.Contract}
-	for _, c := range q.Others {
-		if c.Customer != q.Contract.Customer {
+func allContracts(in Input) []model.Contract {
+	all := []model.Contract{in.Contract}
+	for _, c := range in.Others {
+		if c.Customer != in.Contract.Customer {
 			all = append(all, c)
 		}
 	}
@@ -152,10 +152,10 @@
 // largest covered failure domain, if the instances are spread as evenly as
 // possible. Spare instances in the domain are lost with it, so the spare must be at
 // least as large as the number of the customer's instances in the domain.
-func spareShortfalls(q Input) []Shortfall {
-	c := q.Contract
+func spareShortfalls(in Input) []Shortfall {
+	c := in.Contract
 	total := PromisedInstances(c) + c.Spare
-	sizes := domainSizes(q.Fleet, c.Covers)
+	sizes := domainSizes(in.Fleet, c.Covers)
 	loss, name := smallestMaxLoad(sizes, total)
 	if loss <= c.Spare {
 		return nil
@@ -226,16 +226,16 @@
 
 // slotShortfalls returns a shortfall if the requested concurrency exceeds the slots
 // of the promised instances.
-func slotShortfalls[P SlotsPolicy](slots P, q Input) []Shortfall {
-	bySlots := q.Contract
+func slotShortfalls[P SlotsPolicy](slots P, in Input) []Shortfall {
+	bySlots := in.Contract
 	bySlots.Concurrency = 0
-	have := concurrency(slots, bySlots, q.Fleet).Value
-	if int64(q.Contract.Concurrency) <= have {
+	have := concurrency(slots, bySlots, in.Fleet).Value
+	if int64(in.Contract.Concurrency) <= have {
 		return nil
 	}
 	return []Shortfall{{
-		Kind: ShortfallSlots, Subject: "concurrency", Required: int64(q.Contract.Concurrency), Available: have,
-		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", q.Contract.Concurrency, have),
+		Kind: ShortfallSlots, Subject: "concurrency", Required: int64(in.Contract.Concurrency), Available: have,
+		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", in.Contract.Concurrency, have),
 	}}
 }
 
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -8,25 +8,25 @@
 )
 
 // uncount removes the item from all counts and marks it for the next pass.
-func (b *Planner[P, J]) uncount(it *item) {
-	b.changed[it.inst.ID] = true
+func (pl *Planner[P, J]) uncount(it *item) {
+	pl.changed[it.inst.ID] = true
 	if !it.counted {
 		return
 	}
 	it.counted = false
 	if it.unavailable {
-		for _, c := range b.customersByPool[it.inst.Pool] {
-			b.customers[c].remove(it.inst.ID)
-			b.markPools(b.customers[c])
+		for _, c := range pl.customersByPool[it.inst.Pool] {
+			pl.customers[c].remove(it.inst.ID)
+			pl.markPools(pl.customers[c])
 		}
 	}
 	for _, w := range it.pendingIn {
 		w.count(it.inst, -1)
 	}
-	if b.inProgress[it.inst.ID] != nil {
-		delete(b.inProgress, it.inst.ID)
+	if pl.inProgress[it.inst.ID] != nil {
+		delete(pl.inProgress, it.inst.ID)
 		it.wave.inProgress--
-		b.markWaitingForCanary(it.wave)
+		pl.markWaitingForCanary(it.wave)
 	}
 	for _, w := range it.maintainedBy {
 		w.touched.add(it.tally, -1)
@@ -37,7 +37,7 @@
 	for _, w := range it.observedIn {
 		w.observedCount--
 	}
-	if q := b.dueByPool[it.inst.Pool]; q != nil {
+	if q := pl.dueByPool[it.inst.Pool]; q != nil {
 		q.remove(it)
 	}
 	it.wave, it.pendingIn, it.maintainedBy = nil, it.pendingIn[:0], it.maintainedBy[:0]
@@ -46,33 +46,33 @@
 
 // count adds the item to all counts, evaluated at now, and sets a timer for the
 // next time at which its counts change without an input.
-func (b *Planner[P, J]) count(it *item, now clock.Millis) {
+func (pl *Planner[P, J]) count(it *item, now clock.Millis) {
 	if it.counted || it.inst.Phase == model.PhaseRetired {
 		return
 	}
 	it.counted = true
-	b.countUnavailable(it)
-	stuck := it.inst.Phase == model.PhaseMaintenance && !it.observation.Verified && it.inst.PhaseSince+b.settings.StuckMillis <= now
+	pl.countUnavailable(it)
+	stuck := it.inst.Phase == model.PhaseMaintenance && !it.observation.Verified && it.inst.PhaseSince+pl.settings.StuckMillis <= now
 	it.tally = Tally{Instances: 1, Calls: it.observation.Calls, Failures: it.observation.Failures}
 	if stuck || it.observation.LostSince > 0 {
 		it.tally.Failed = 1
 	}
-	for _, name := range b.waveNames {
-		b.countInWave(it, b.waves[name], stuck, now)
+	for _, name := range pl.waveNames {
+		pl.countInWave(it, pl.waves[name], stuck, now)
 	}
 	switch {
 	case inMaintenance(it.inst):
-		b.countInProgress(it)
+		pl.countInProgress(it)
 	case it.wave != nil && it.inst.Phase == model.PhaseServing:
-		b.dueQueue(it.inst.Pool).add(it)
-		b.changedPools[it.inst.Pool] = true
+		pl.dueQueue(it.inst.Pool).add(it)
+		pl.changedPools[it.inst.Pool] = true
 	}
-	b.setItemTimer(it, b.nextChange(it, now))
+	pl.setItemTimer(it, pl.nextChange(it, now))
 }
 
 // countUnavailable counts the instance as unavailable for the customers of its pool
 // if it is out of service.
-func (b *Planner[P, J]) countUnavailable(it *item) {
+func (pl *Planner[P, J]) countUnavailable(it *item) {
 	lost := it.observation.LostSince > 0
 	it.unavailable = it.inst.Phase != model.PhaseServing || lost
 	if !it.unavailable {
@@ -85,7 +85,7 @@
 	case !lost:
 		outCause = causeMove
 	}
-	from, ok := b.openOutages[it.inst.ID]
+	from, ok := pl.openOutages[it.inst.ID]
 	switch {
 	case ok:
 	case it.inst.Phase != model.PhaseServing:
@@ -93,27 +93,27 @@
 	default:
 		from = it.observation.LostSince
 	}
-	for _, c := range b.customersByPool[it.inst.Pool] {
-		b.customers[c].add(it.inst, outCause, from)
-		b.markPools(b.customers[c])
+	for _, c := range pl.customersByPool[it.inst.Pool] {
+		pl.customers[c].add(it.inst, outCause, from)
+		pl.markPools(pl.customers[c])
 	}
 }
 
 // countInWave counts the instance for one wave: as pending if the wave still has to
 // maintain it, as touched or peer, and as observed once the canary time has passed
 // since its maintenance.
-func (b *Planner[P, J]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
-	if deadline, ok := w.needs(b.settings, it.inst, now); ok {
+func (pl *Planner[P, J]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
+	if deadline, ok := w.needs(pl.settings, it.inst, now); ok {
 		it.pendingIn = append(it.pendingIn, w)
 		if len(w.pending) == 0 {
-			b.wavesToCheck[w.decl.Name] = true
+			pl.wavesToCheck[w.decl.Name] = true
 		}
 		w.count(it.inst, 1)
 		if it.wave == nil || deadline < it.deadline {
 			it.wave, it.deadline = w, deadline
 		}
 	}
-	if w.maintained(b.settings, it.inst, now) || (stuck && slices.Contains(it.pendingIn, w)) {
+	if w.maintained(pl.settings, it.inst, now) || (stuck && slices.Contains(it.pendingIn, w)) {
 		it.maintainedBy = append(it.maintainedBy, w)
 		w.touched.add(it.tally, 1)
 		w.canaryReturnedAt = it.inst.MaintainedAt
@@ -122,11 +122,11 @@
 		w.peers.add(it.tally, 1)
 	}
 	if it.inst.MaintainedAt > 0 && it.inst.MaintainedAt >= w.decl.DeclaredAt && w.decl.Selector.Matches(it.inst) &&
-		it.inst.MaintainedAt+b.settings.CanaryMillis <= now {
+		it.inst.MaintainedAt+pl.settings.CanaryMillis <= now {
 		it.observedIn = append(it.observedIn, w)
 		w.observedCount++
 		if w.observedCount == 1 {
-			b.markWave(w)
+			pl.markWave(w)
 		}
 	}
 }
@@ -134,32 +134,32 @@
 // countInProgress counts an instance whose maintenance has started. If no wave
 // needs it any more, because its declaration was cancelled, it gets a
 // placeholder wave that is not registered and therefore starts nothing.
-func (b *Planner[P, J]) countInProgress(it *item) {
+func (pl *Planner[P, J]) countInProgress(it *item) {
 	if it.wave == nil {
 		it.wave = newWave(model.Maintenance{Name: "cancelled"})
 	}
-	b.inProgress[it.inst.ID] = it
+	pl.inProgress[it.inst.ID] = it
 	it.wave.inProgress++
-	b.markWaitingForCanary(it.wave)
+	pl.markWaitingForCanary(it.wave)
 }
 
 // markWaitingForCanary marks all pools of the wave for evaluation if the wave
 // waits for its canary.
-func (b *Planner[P, J]) markWaitingForCanary(w *wave) {
+func (pl *Planner[P, J]) markWaitingForCanary(w *wave) {
 	if w.observedCount == 0 {
-		b.markWave(w)
+		pl.markWave(w)
 	}
 }
 
-func (b *Planner[P, J]) markWave(w *wave) {
+func (pl *Planner[P, J]) markWave(w *wave) {
 	for p := range w.byPool {
-		b.changedPools[p] = true
+		pl.changedPools[p] = true
 	}
 }
 
 // nextChange returns the earliest time after now at which count would count the
 // item differently without an input; 0 for never.
-func (b *Planner[P, J]) nextChange(it *item, now clock.Millis) clock.Millis {
+func (pl *Planner[P, J]) nextChange(it *item, now clock.Millis) clock.Millis {
 	next := clock.Millis(0)
 	at := func(t clock.Millis) {
 		if t > now && (next == 0 || t < next) {
@@ -168,90 +168,90 @@
 	}
 	i := it.inst
 	if i.Phase == model.PhaseMaintenance && !it.observation.Verified {
-		at(i.PhaseSince + b.settings.StuckMillis)
+		at(i.PhaseSince + pl.settings.StuckMillis)
 	}
 	if i.MaintainedAt > 0 {
-		at(i.MaintainedAt + b.settings.CanaryMillis)
+		at(i.MaintainedAt + pl.settings.CanaryMillis)
 	}
-	if b.settings.PeriodMillis > 0 {
-		end := b.settings.periodEnd(i)
-		at(end - b.settings.MarginMillis)
-		at(b.settings.PeriodicStart)
+	if pl.settings.PeriodMillis > 0 {
+		end := pl.settings.periodEnd(i)
+		at(end - pl.settings.MarginMillis)
+		at(pl.settings.PeriodicStart)
 		if i.MaintainedAt > 0 {
-			at(i.MaintainedAt + b.settings.ObservationMillis)
+			at(i.MaintainedAt + pl.settings.ObservationMillis)
 		}
 	}
-	for _, name := range b.waveNames {
-		at(b.waves[name].decl.DeclaredAt)
+	for _, name := range pl.waveNames {
+		at(pl.waves[name].decl.DeclaredAt)
 	}
 	return next
 }
 
 // setItemTimer sets the timer of the item to next, unless it has an earlier one or
 // next is 0.
-func (b *Planner[P, J]) setItemTimer(it *item, next clock.Millis) {
+func (pl *Planner[P, J]) setItemTimer(it *item, next clock.Millis) {
 	if next == 0 || (it.timerAt != 0 && it.timerAt <= next) {
 		return
 	}
 	it.timerAt = next
-	b.timers.Push(timer{at: next, instance: string(it.inst.ID)})
+	pl.timers.Push(timer{at: next, instance: string(it.inst.ID)})
 }
 
-func (b *Planner[P, J]) dueQueue(p model.Pool) *dueQueue {
-	q := b.dueByPool[p]
+func (pl *Planner[P, J]) dueQueue(p model.Pool) *dueQueue {
+	q := pl.dueByPool[p]
 	if q == nil {
 		q = &dueQueue{}
-		b.dueByPool[p] = q
+		pl.dueByPool[p] = q
 	}
 	return q
 }
 
 // processChanges handles the timers that have expired and counts the changed
 // instances again.
-func (b *Planner[P, J]) processChanges(now clock.Millis) {
-	for b.timers.Len() > 0 && b.timers.Top().at <= now {
-		d := b.timers.Pop()
+func (pl *Planner[P, J]) processChanges(now clock.Millis) {
+	for pl.timers.Len() > 0 && pl.timers.Top().at <= now {
+		d := pl.timers.Pop()
 		switch {
 		case d.instance != "":
-			it := b.items[model.InstanceID(d.instance)]
+			it := pl.items[model.InstanceID(d.instance)]
 			if it != nil && it.timerAt == d.at {
 				it.timerAt = 0
-				b.uncount(it)
+				pl.uncount(it)
 			}
 		case d.pool != "":
-			b.changedPools[model.Pool(d.pool)] = true
-			delete(b.timerByKey, "pool "+d.pool)
+			pl.changedPools[model.Pool(d.pool)] = true
+			delete(pl.timerByKey, "pool "+d.pool)
 		default:
-			b.wavesToCheck[d.wave] = true
-			delete(b.timerByKey, "wave "+d.wave)
+			pl.wavesToCheck[d.wave] = true
+			delete(pl.timerByKey, "wave "+d.wave)
 		}
 	}
-	if b.settings.FullScan {
-		b.markAll()
+	if pl.settings.FullScan {
+		pl.markAll()
 	}
-	for _, id := range sortedKeys(b.changed) {
-		b.count(b.items[id], now)
+	for _, id := range sortedKeys(pl.changed) {
+		pl.count(pl.items[id], now)
 	}
-	clear(b.changed)
+	clear(pl.changed)
 }
 
 // markAll marks every instance, pool and wave for evaluation in this pass.
-func (b *Planner[P, J]) markAll() {
-	for _, it := range b.items {
-		b.uncount(it)
+func (pl *Planner[P, J]) markAll() {
+	for _, it := range pl.items {
+		pl.uncount(it)
 	}
-	for p := range b.itemsByPool {
-		b.changedPools[p] = true
+	for p := range pl.itemsByPool {
+		pl.changedPools[p] = true
 	}
-	b.checkAllWaves()
+	pl.checkAllWaves()
 }
 
 // setTimer schedules the evaluation of a pool or a wave; key is "pool " or
 // "wave " followed by the name.
-func (b *Planner[P, J]) setTimer(key string, d timer) {
-	if earliest, ok := b.timerByKey[key]; ok && earliest <= d.at {
+func (pl *Planner[P, J]) setTimer(key string, d timer) {
+	if earliest, ok := pl.timerByKey[key]; ok && earliest <= d.at {
 		return
 	}
-	b.timerByKey[key] = d.at
-	b.timers.Push(d)
+	pl.timerByKey[key] = d.at
+	pl.timers.Push(d)
 }
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -54,20 +54,20 @@
 }
 
 func newCustomerState(c model.Contract) *customerState {
-	a := &customerState{contract: c, unavailable: map[model.InstanceID]unavailability{}, domainCounts: map[string]int{}, usedAt: -1}
+	cs := &customerState{contract: c, unavailable: map[model.InstanceID]unavailability{}, domainCounts: map[string]int{}, usedAt: -1}
 	for _, p := range c.Pools {
-		a.pools = append(a.pools, p.Pool)
+		cs.pools = append(cs.pools, p.Pool)
 	}
-	if c.SparePool != "" && !slices.Contains(a.pools, c.SparePool) {
-		a.pools = append(a.pools, c.SparePool)
+	if c.SparePool != "" && !slices.Contains(cs.pools, c.SparePool) {
+		cs.pools = append(cs.pools, c.SparePool)
 	}
-	return a
+	return cs
 }
 
 // domainOf returns the name of the instance's failure domain, of the kind that
 // the contract covers.
-func (a *customerState) domainOf(i model.Instance) string {
-	switch a.contract.Covers {
+func (cs *customerState) domainOf(i model.Instance) string {
+	switch cs.contract.Covers {
 	case model.DomainZone:
 		return string(i.Zone)
 	case model.DomainRack:
@@ -77,42 +77,42 @@
 	}
 }
 
-func (a *customerState) add(i model.Instance, c cause, from clock.Millis) {
-	a.usedAt = -1
-	a.unavailable[i.ID] = unavailability{cause: c, domain: a.domainOf(i), from: from}
-	a.adjust(a.domainOf(i), c, 1)
+func (cs *customerState) add(i model.Instance, c cause, from clock.Millis) {
+	cs.usedAt = -1
+	cs.unavailable[i.ID] = unavailability{cause: c, domain: cs.domainOf(i), from: from}
+	cs.adjust(cs.domainOf(i), c, 1)
 }
 
-func (a *customerState) remove(id model.InstanceID) {
-	if o, ok := a.unavailable[id]; ok {
-		a.usedAt = -1
-		delete(a.unavailable, id)
-		a.adjust(o.domain, o.cause, -1)
+func (cs *customerState) remove(id model.InstanceID) {
+	if o, ok := cs.unavailable[id]; ok {
+		cs.usedAt = -1
+		delete(cs.unavailable, id)
+		cs.adjust(o.domain, o.cause, -1)
 	}
 }
 
-func (a *customerState) adjust(domain string, c cause, n int) {
-	a.total += n
-	a.byCause[c] += n
+func (cs *customerState) adjust(domain string, c cause, n int) {
+	cs.total += n
+	cs.byCause[c] += n
 	if c == causeMove {
 		return
 	}
-	a.domainCounts[domain] += n
-	if a.domainCounts[domain] == 0 {
-		delete(a.domainCounts, domain)
+	cs.domainCounts[domain] += n
+	if cs.domainCounts[domain] == 0 {
+		delete(cs.domainCounts, domain)
 	}
 }
 
 // inOtherDomain reports whether an instance outside the given domain is in
 // maintenance or lost.
-func (a *customerState) inOtherDomain(domain string) bool {
-	return len(a.domainCounts) > 1 || (len(a.domainCounts) == 1 && a.domainCounts[domain] == 0)
+func (cs *customerState) inOtherDomain(domain string) bool {
+	return len(cs.domainCounts) > 1 || (len(cs.domainCounts) == 1 && cs.domainCounts[domain] == 0)
 }
 
 // lostInOtherDomain reports whether an instance outside the given domain is
 // lost. Unlike inOtherDomain, it ignores planned maintenance.
-func (a *customerState) lostInOtherDomain(domain string) bool {
-	for _, o := range a.unavailable {
+func (cs *customerState) lostInOtherDomain(domain string) bool {
+	for _, o := range cs.unavailable {
 		if o.cause == causeLoss && o.domain != domain {
 			return true
 		}
@@ -126,43 +126,43 @@
 // the finished outages of a pool. A window that ends later contains no more past
 // outages than this one, so a release that fits this window also fits all later
 // ones.
-func (a *customerState) windowUsed(now, duration clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
-	if a.usedAt != now {
-		a.usedAt, a.usedMillis = now, 0
-		start := now - a.contract.WindowMillis
-		for _, p := range a.pools {
+func (cs *customerState) windowUsed(now, duration clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
+	if cs.usedAt != now {
+		cs.usedAt, cs.usedMillis = now, 0
+		start := now - cs.contract.WindowMillis
+		for _, p := range cs.pools {
 			for _, o := range finished(p) {
-				a.usedMillis += max(0, o.To-max(o.From, start))
+				cs.usedMillis += max(0, o.To-max(o.From, start))
 			}
 		}
-		for _, o := range a.unavailable {
+		for _, o := range cs.unavailable {
 			past := now - max(o.from, start)
 			if o.cause == causeLoss {
-				a.usedMillis += past + duration
+				cs.usedMillis += past + duration
 				continue
 			}
-			a.usedMillis += max(past, duration)
+			cs.usedMillis += max(past, duration)
 		}
 	}
-	return a.usedMillis + clock.Millis(a.tentativeReleases)*duration
+	return cs.usedMillis + clock.Millis(cs.tentativeReleases)*duration
 }
 
 // windowFreeAt returns the earliest time at which finished outages totalling
 // need have left the budget window, or 0 if the finished outages total less
 // than need. Concurrent outages leave the window concurrently, so the time is
 // found by binary search.
-func (a *customerState) windowFreeAt(now, need clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
-	start := now - a.contract.WindowMillis
+func (cs *customerState) windowFreeAt(now, need clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
+	start := now - cs.contract.WindowMillis
 	freed := func(by clock.Millis) clock.Millis {
 		sum := clock.Millis(0)
-		for _, p := range a.pools {
+		for _, p := range cs.pools {
 			for _, o := range finished(p) {
-				sum += max(0, min(o.To, by-a.contract.WindowMillis)-max(o.From, start))
+				sum += max(0, min(o.To, by-cs.contract.WindowMillis)-max(o.From, start))
 			}
 		}
 		return sum
 	}
-	lo, hi := now, now+a.contract.WindowMillis
+	lo, hi := now, now+cs.contract.WindowMillis
 	if freed(hi) < need {
 		return 0
 	}
--- a/core/state/maint/deadline_check.go
+++ b/core/state/maint/deadline_check.go
@@ -10,18 +10,18 @@
 
 // checkDeadlines checks the deadlines of the waves marked for a check and adds
 // to the plan every deadline that cannot be met.
-func (b *Planner[P, J]) checkDeadlines(now clock.Millis, plan *Plan) {
-	for _, name := range b.waveNames {
-		w := b.waves[name]
-		if b.wavesToCheck[name] {
+func (pl *Planner[P, J]) checkDeadlines(now clock.Millis, plan *Plan) {
+	for _, name := range pl.waveNames {
+		w := pl.waves[name]
+		if pl.wavesToCheck[name] {
 			next := clock.Millis(0)
 			if w.periodic() {
-				next = b.checkPeriod(w, now)
+				next = pl.checkPeriod(w, now)
 			} else {
-				next = b.checkWave(w, now)
+				next = pl.checkWave(w, now)
 			}
 			if next > 0 {
-				b.setTimer("wave "+name, timer{at: next, wave: name})
+				pl.setTimer("wave "+name, timer{at: next, wave: name})
 			}
 		}
 		if len(w.pending) == 0 {
@@ -29,25 +29,25 @@
 		}
 		plan.UnmetDeadlines = append(plan.UnmetDeadlines, w.unmet...)
 	}
-	clear(b.wavesToCheck)
+	clear(pl.wavesToCheck)
 }
 
 // checkWave estimates for each customer when the wave will be done and returns
 // the time of the next check. Checks are frequent enough to notice a change, and
 // one always takes place at the last time at which maintenance can start and
 // still meet the deadline.
-func (b *Planner[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
+func (pl *Planner[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
 		return 0
 	}
 	covered := map[model.Pool]bool{}
-	for _, c := range sortedKeys(b.customers) {
-		a := b.customers[c]
-		for _, p := range a.pools {
+	for _, c := range sortedKeys(pl.customers) {
+		cs := pl.customers[c]
+		for _, p := range cs.pools {
 			covered[p] = true
 		}
-		b.checkCustomer(w, a, now)
+		pl.checkCustomer(w, cs, now)
 	}
 	uncovered := 0
 	for p, n := range w.byPool {
@@ -55,17 +55,17 @@
 			uncovered += n
 		}
 	}
-	if last := w.decl.Deadline - b.settings.MaintenanceMillis; uncovered > 0 && now > last {
+	if last := w.decl.Deadline - pl.settings.MaintenanceMillis; uncovered > 0 && now > last {
 		w.unmet = append(w.unmet, UnmetDeadline{
-			Wave: w.decl.Name, Remaining: uncovered, Deadline: w.decl.Deadline, Estimate: now + b.settings.MaintenanceMillis,
+			Wave: w.decl.Name, Remaining: uncovered, Deadline: w.decl.Deadline, Estimate: now + pl.settings.MaintenanceMillis,
 			Reason: "instances of pools without a contract are left",
 		})
 	}
-	last := w.decl.Deadline - b.settings.MaintenanceMillis
+	last := w.decl.Deadline - pl.settings.MaintenanceMillis
 	if now < last {
-		return min(last, now+max(b.settings.MaintenanceMillis, (last-now)/8))
+		return min(last, now+max(pl.settings.MaintenanceMillis, (last-now)/8))
 	}
-	return now + max(b.settings.MaintenanceMillis/4, 1)
+	return now + max(pl.settings.MaintenanceMillis/4, 1)
 }
 
 // backlog is the work that a wave has left for one customer.
@@ -81,28 +81,28 @@
 
 // backlogOf returns the backlog of a customer in the wave. total is the number
 // of its pending instances, including those in progress.
-func (b *Planner[P, J]) backlogOf(w *wave, a *customerState, now clock.Millis) (o backlog, total int) {
+func (pl *Planner[P, J]) backlogOf(w *wave, cs *customerState, now clock.Millis) (o backlog, total int) {
 	o.waiting = map[string]int{}
 	own := map[model.Pool]bool{}
-	for _, p := range a.pools {
+	for _, p := range cs.pools {
 		own[p] = true
 		total += w.byPool[p]
 	}
 	// Under DomainInstance each instance is its own domain. These are counted
 	// as one domain, and estimate lets only one of them start at a time.
 	name := func(i model.Instance) string {
-		if a.contract.Covers == model.DomainInstance {
+		if cs.contract.Covers == model.DomainInstance {
 			return ""
 		}
-		return a.domainOf(i)
+		return cs.domainOf(i)
 	}
 	for c, n := range w.pending {
 		if own[c.pool] {
 			o.waiting[name(model.Instance{Zone: c.zone, Rack: c.rack})] += n
 		}
 	}
-	for _, id := range sortedKeys(b.inProgress) {
-		it := b.inProgress[id]
+	for _, id := range sortedKeys(pl.inProgress) {
+		it := pl.inProgress[id]
 		if !own[it.inst.Pool] {
 			continue
 		}
@@ -110,24 +110,24 @@
 		if slices.Contains(it.pendingIn, w) {
 			o.waiting[o.busyDomain]--
 		}
-		end := a.unavailable[id].from + b.settings.MaintenanceMillis
+		end := cs.unavailable[id].from + pl.settings.MaintenanceMillis
 		if end < now {
 			// The maintenance is overdue and its end is unknown: assume that it
 			// takes as long as a new one.
-			end = now + b.settings.MaintenanceMillis
+			end = now + pl.settings.MaintenanceMillis
 		}
 		o.expectedEnds = append(o.expectedEnds, end)
 	}
 	return o, total
 }
 
-func (b *Planner[P, J]) checkCustomer(w *wave, a *customerState, now clock.Millis) {
-	o, total := b.backlogOf(w, a, now)
+func (pl *Planner[P, J]) checkCustomer(w *wave, cs *customerState, now clock.Millis) {
+	o, total := pl.backlogOf(w, cs, now)
 	if total == 0 {
 		return
 	}
-	late := UnmetDeadline{Wave: w.decl.Name, Customer: a.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
-	late.Estimate, late.Reason = b.estimate(w, a, o, now)
+	late := UnmetDeadline{Wave: w.decl.Name, Customer: cs.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
+	late.Estimate, late.Reason = pl.estimate(w, cs, o, now)
 	if late.Estimate == 0 || late.Estimate > w.decl.Deadline {
 		w.unmet = append(w.unmet, late)
 	}
@@ -137,7 +137,7 @@
 // domain after the other, and the limit that determines it; 0 for never. It
 // assumes that each maintenance takes MaintenanceMillis, the longest allowed
 // time, so the estimate does not move back while maintenance goes as planned.
-func (b *Planner[P, J]) estimate(w *wave, a *customerState, o backlog, now clock.Millis) (clock.Millis, string) {
+func (pl *Planner[P, J]) estimate(w *wave, cs *customerState, o backlog, now clock.Millis) (clock.Millis, string) {
 	remaining := 0
 	for _, n := range o.waiting {
 		remaining += n
@@ -145,51 +145,51 @@
 	if remaining == 0 {
 		return slices.Max(append(o.expectedEnds, now)), "in maintenance and not back in time"
 	}
-	lost := a.byCause[causeLoss]
-	width := a.contract.MaxUnavailable - lost
-	if a.contract.Covers == model.DomainInstance {
+	lost := cs.byCause[causeLoss]
+	width := cs.contract.MaxUnavailable - lost
+	if cs.contract.Covers == model.DomainInstance {
 		width = min(width, 1)
 	}
 	if width <= 0 {
-		return 0, fmt.Sprintf("max-unavailable %d with %d unplanned losses", a.contract.MaxUnavailable, lost)
+		return 0, fmt.Sprintf("max-unavailable %d with %d unplanned losses", cs.contract.MaxUnavailable, lost)
 	}
-	end := b.finishBusy(o, b.canaryDone(w, o, now), width)
+	end := pl.finishBusy(o, pl.canaryDone(w, o, now), width)
 	rounds := 0
 	for name, n := range o.waiting {
 		if len(o.expectedEnds) == 0 || name != o.busyDomain {
 			rounds += (n + width - 1) / width
 		}
 	}
-	end += clock.Millis(rounds) * b.settings.MaintenanceMillis
-	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", remaining, width, a.contract.Covers)
-	if a.contract.WindowMillis == 0 {
+	end += clock.Millis(rounds) * pl.settings.MaintenanceMillis
+	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", remaining, width, cs.contract.Covers)
+	if cs.contract.WindowMillis == 0 {
 		return end, reason
 	}
-	perWindow := int(a.contract.BudgetMillis / b.settings.MaintenanceMillis)
+	perWindow := int(cs.contract.BudgetMillis / pl.settings.MaintenanceMillis)
 	if perWindow == 0 {
-		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", a.contract.BudgetMillis, b.settings.MaintenanceMillis)
+		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", cs.contract.BudgetMillis, pl.settings.MaintenanceMillis)
 	}
-	free := max(0, int((a.contract.BudgetMillis-a.windowUsed(now, b.settings.MaintenanceMillis, b.outages))/b.settings.MaintenanceMillis))
+	free := max(0, int((cs.contract.BudgetMillis-cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages))/pl.settings.MaintenanceMillis))
 	if remaining > free {
 		windows := (remaining - free + perWindow - 1) / perWindow
-		end = max(end, now+clock.Millis(windows)*a.contract.WindowMillis+b.settings.MaintenanceMillis)
-		reason = fmt.Sprintf("%d instances at %d for each window of %d ms", remaining, perWindow, a.contract.WindowMillis)
+		end = max(end, now+clock.Millis(windows)*cs.contract.WindowMillis+pl.settings.MaintenanceMillis)
+		reason = fmt.Sprintf("%d instances at %d for each window of %d ms", remaining, perWindow, cs.contract.WindowMillis)
 	}
 	return end, reason
 }
 
 // canaryDone returns the time from which instances other than the canary may
 // start.
-func (b *Planner[P, J]) canaryDone(w *wave, o backlog, now clock.Millis) clock.Millis {
+func (pl *Planner[P, J]) canaryDone(w *wave, o backlog, now clock.Millis) clock.Millis {
 	switch {
 	case w.observedCount > 0:
 		return now
 	case w.inProgress > 0:
-		return slices.Max(append(o.expectedEnds, now)) + b.settings.CanaryMillis
+		return slices.Max(append(o.expectedEnds, now)) + pl.settings.CanaryMillis
 	case w.touched.Instances > 0:
-		return max(now, w.canaryReturnedAt+b.settings.CanaryMillis)
+		return max(now, w.canaryReturnedAt+pl.settings.CanaryMillis)
 	default:
-		return now + b.settings.MaintenanceMillis + b.settings.CanaryMillis
+		return now + pl.settings.MaintenanceMillis + pl.settings.CanaryMillis
 	}
 }
 
@@ -197,7 +197,7 @@
 // is done, with at most width concurrent maintenances. Each one that ends is
 // followed by the next waiting instance of the domain, but not before
 // canaryDone.
-func (b *Planner[P, J]) finishBusy(o backlog, canaryDone clock.Millis, width int) clock.Millis {
+func (pl *Planner[P, J]) finishBusy(o backlog, canaryDone clock.Millis, width int) clock.Millis {
 	if len(o.expectedEnds) == 0 {
 		return canaryDone
 	}
@@ -207,7 +207,7 @@
 	}
 	slices.Sort(ends)
 	for range o.waiting[o.busyDomain] {
-		ends = append(ends[1:], max(ends[0], canaryDone)+b.settings.MaintenanceMillis)
+		ends = append(ends[1:], max(ends[0], canaryDone)+pl.settings.MaintenanceMillis)
 		slices.Sort(ends)
 	}
 	return max(canaryDone, ends[len(ends)-1])
@@ -215,14 +215,14 @@
 
 // checkPeriod records, by pool, the instances that the periodic wave can no
 // longer maintain in time, and returns the time of the next check.
-func (b *Planner[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
+func (pl *Planner[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
-	next := now + max(b.settings.MarginMillis/2, b.settings.MaintenanceMillis)
-	for _, p := range sortedKeys(b.dueByPool) {
+	next := now + max(pl.settings.MarginMillis/2, pl.settings.MaintenanceMillis)
+	for _, p := range sortedKeys(pl.dueByPool) {
 		late := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
-		for _, s := range b.dueByPool[p].racks {
+		for _, s := range pl.dueByPool[p].racks {
 			for _, it := range s.items {
-				last := it.deadline - b.settings.MaintenanceMillis
+				last := it.deadline - pl.settings.MaintenanceMillis
 				switch {
 				case it.wave != w:
 				case now < last:
@@ -230,7 +230,7 @@
 				default:
 					late.Remaining++
 					late.Deadline = it.deadline
-					next = min(next, now+b.settings.MaintenanceMillis)
+					next = min(next, now+pl.settings.MaintenanceMillis)
 				}
 			}
 		}
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -22,11 +22,11 @@
 // nextRelease returns the next instance of the pool that may be released. If
 // there is none, it returns the first limit that blocks one; nil if no instance
 // is due. taken holds the instances already released in this pass.
-func (b *Planner[P, J]) nextRelease(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
+func (pl *Planner[P, J]) nextRelease(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
 	var firstWait *Wait
 	var blockedWaves []*wave
-	for _, s := range b.dueByPool[p].racksByDeadline() {
-		if firstWait != nil && b.inOtherDomain(p, s.items[0].inst) {
+	for _, s := range pl.dueByPool[p].racksByDeadline() {
+		if firstWait != nil && pl.inOtherDomain(p, s.items[0].inst) {
 			// Every instance of the rack is blocked and the wait to report is
 			// known already. Most racks of a large pool end here.
 			continue
@@ -36,7 +36,7 @@
 			if taken[it] || slices.Contains(blockedWaves, it.wave) {
 				continue
 			}
-			wait, sc := b.limitFor(it, now)
+			wait, sc := pl.limitFor(it, now)
 			if wait == nil {
 				return it, nil
 			}
@@ -59,9 +59,9 @@
 
 // inOtherDomain reports whether a customer of the pool has instances outside
 // the failure domain of i that are in maintenance or lost.
-func (b *Planner[P, J]) inOtherDomain(p model.Pool, i model.Instance) bool {
-	for _, c := range b.customersByPool[p] {
-		if a := b.customers[c]; a.inOtherDomain(a.domainOf(i)) {
+func (pl *Planner[P, J]) inOtherDomain(p model.Pool, i model.Instance) bool {
+	for _, c := range pl.customersByPool[p] {
+		if cs := pl.customers[c]; cs.inOtherDomain(cs.domainOf(i)) {
 			return true
 		}
 	}
@@ -70,7 +70,7 @@
 
 // limitFor returns the first limit that keeps the instance from being released,
 // and its scope; nil if the instance may be released.
-func (b *Planner[P, J]) limitFor(it *item, now clock.Millis) (*Wait, scope) {
+func (pl *Planner[P, J]) limitFor(it *item, now clock.Millis) (*Wait, scope) {
 	w := it.wave
 	wait := Wait{Pool: it.inst.Pool, Wave: w.decl.Name, Instance: it.inst.ID}
 	switch {
@@ -82,12 +82,12 @@
 		return &wait, scopeWave
 	case w.observedCount == 0 && (w.inProgress+w.tentativeReleases > 0 || w.touched.Instances > 0):
 		wait.Limit, wait.Current, wait.Max = LimitCanary, int64(w.inProgress+w.tentativeReleases), 1
-		wait.Unblock = fmt.Sprintf("the first instance is back and was observed for %d ms", b.settings.CanaryMillis)
+		wait.Unblock = fmt.Sprintf("the first instance is back and was observed for %d ms", pl.settings.CanaryMillis)
 		return &wait, scopeWave
 	}
-	for _, c := range b.customersByPool[it.inst.Pool] {
+	for _, c := range pl.customersByPool[it.inst.Pool] {
 		wait.Customer = c
-		if sc, hit := b.overLimit(it, b.customers[c], now, &wait); hit {
+		if sc, hit := pl.overLimit(it, pl.customers[c], now, &wait); hit {
 			return &wait, sc
 		}
 	}
@@ -96,10 +96,10 @@
 
 // overLimit reports whether releasing the item would exceed a limit of the
 // customer. If so, it fills in the wait and returns the scope of the limit.
-func (b *Planner[P, J]) overLimit(it *item, a *customerState, now clock.Millis, wait *Wait) (scope, bool) {
-	c := a.contract
-	if a.total+1 > c.MaxUnavailable {
-		wait.Limit, wait.Current, wait.Max = LimitMaxUnavailable, int64(a.total), int64(c.MaxUnavailable)
+func (pl *Planner[P, J]) overLimit(it *item, cs *customerState, now clock.Millis, wait *Wait) (scope, bool) {
+	c := cs.contract
+	if cs.total+1 > c.MaxUnavailable {
+		wait.Limit, wait.Current, wait.Max = LimitMaxUnavailable, int64(cs.total), int64(c.MaxUnavailable)
 		wait.Unblock = "an instance of the customer comes back into service"
 		if c.MaxUnavailable == 0 {
 			wait.Unblock = "the contract allows at least one unavailable instance"
@@ -107,24 +107,24 @@
 		return scopePool, true
 	}
 	if c.WindowMillis > 0 {
-		used := a.windowUsed(now, b.settings.MaintenanceMillis, b.outages)
-		if over := used + b.settings.MaintenanceMillis - c.BudgetMillis; over > 0 {
+		used := cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages)
+		if over := used + pl.settings.MaintenanceMillis - c.BudgetMillis; over > 0 {
 			wait.Limit, wait.Current, wait.Max = LimitWindow, int64(used), int64(c.BudgetMillis)
-			wait.Until = a.windowFreeAt(now, over, b.outages)
+			wait.Until = cs.windowFreeAt(now, over, pl.outages)
 			wait.Unblock = fmt.Sprintf("%d ms of earlier outages leave the window or do not take place", over)
 			return scopePool, true
 		}
 	}
-	if a.inOtherDomain(a.domainOf(it.inst)) {
-		wait.Limit, wait.Current, wait.Max = LimitDomain, int64(len(a.domainCounts)), 1
+	if cs.inOtherDomain(cs.domainOf(it.inst)) {
+		wait.Limit, wait.Current, wait.Max = LimitDomain, int64(len(cs.domainCounts)), 1
 		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back", c.Covers)
 		return scopeRack, true
 	}
-	width := b.pacer.MaxConcurrent(PacerInput{PressurePermille: a.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: b.neededForDeadline(it, a, now)})
-	if a.byCause[causeMaintenance] >= width {
-		wait.Limit, wait.Current, wait.Max = LimitPressure, int64(a.byCause[causeMaintenance]), int64(width)
-		wait.Until = now + b.settings.PressureRetryMillis
-		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", a.pressure)
+	width := pl.pacer.MaxConcurrent(PacerInput{PressurePermille: cs.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: pl.neededForDeadline(it, cs, now)})
+	if cs.byCause[causeMaintenance] >= width {
+		wait.Limit, wait.Current, wait.Max = LimitPressure, int64(cs.byCause[causeMaintenance]), int64(width)
+		wait.Until = now + pl.settings.PressureRetryMillis
+		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", cs.pressure)
 		return scopeItem, true
 	}
 	return scopeItem, false
@@ -132,14 +132,14 @@
 
 // neededForDeadline returns the number of concurrent maintenances that just
 // meets the item's deadline.
-func (b *Planner[P, J]) neededForDeadline(it *item, a *customerState, now clock.Millis) int {
+func (pl *Planner[P, J]) neededForDeadline(it *item, cs *customerState, now clock.Millis) int {
 	left := it.deadline - now
 	if left <= 0 {
-		return a.contract.MaxUnavailable
+		return cs.contract.MaxUnavailable
 	}
 	rest := clock.Millis(0)
-	for _, p := range a.pools {
+	for _, p := range cs.pools {
 		rest += clock.Millis(it.wave.byPool[p])
 	}
-	return int((rest*b.settings.MaintenanceMillis + left - 1) / left)
+	return int((rest*pl.settings.MaintenanceMillis + left - 1) / left)
 }
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -11,34 +11,34 @@
 
 // Pass runs one planning pass and returns the next steps. It changes only the
 // index: if a step is not carried out, the next pass returns it again.
-func (b *Planner[P, J]) Pass(now clock.Millis) Plan {
+func (pl *Planner[P, J]) Pass(now clock.Millis) Plan {
 	var plan Plan
-	b.prune(now)
-	b.processChanges(now)
-	b.evaluateWaves(&plan)
-	b.planInProgress(now, &plan)
-	b.planReleases(now, &plan)
-	b.checkDeadlines(now, &plan)
-	for _, p := range sortedKeys(b.waits) {
-		plan.Waits = append(plan.Waits, b.waits[p])
-	}
-	if b.timers.Len() > 0 {
-		plan.NextPassAt = b.timers.Top().at
+	pl.prune(now)
+	pl.processChanges(now)
+	pl.evaluateWaves(&plan)
+	pl.planInProgress(now, &plan)
+	pl.planReleases(now, &plan)
+	pl.checkDeadlines(now, &plan)
+	for _, p := range sortedKeys(pl.waits) {
+		plan.Waits = append(plan.Waits, pl.waits[p])
+	}
+	if pl.timers.Len() > 0 {
+		plan.NextPassAt = pl.timers.Top().at
 	}
 	return plan
 }
 
 // evaluateWaves applies the stop policy to each wave and adds the stopped ones to
 // the plan.
-func (b *Planner[P, J]) evaluateWaves(plan *Plan) {
-	for _, name := range b.waveNames {
-		w := b.waves[name]
+func (pl *Planner[P, J]) evaluateWaves(plan *Plan) {
+	for _, name := range pl.waveNames {
+		w := pl.waves[name]
 		reason := ""
 		if w.touched.Instances > 0 {
-			reason = b.stopPolicy.StopReason(w.touched, w.peers)
+			reason = pl.stopPolicy.StopReason(w.touched, w.peers)
 		}
 		if (reason == "") != (w.stopReason == "") {
-			b.markWave(w)
+			pl.markWave(w)
 		}
 		w.stopReason = reason
 		if reason != "" {
@@ -48,22 +48,22 @@
 }
 
 // planInProgress adds the steps of the instances whose maintenance has started.
-func (b *Planner[P, J]) planInProgress(now clock.Millis, plan *Plan) {
+func (pl *Planner[P, J]) planInProgress(now clock.Millis, plan *Plan) {
 	takenBack := map[model.Customer]int{}
-	for _, id := range sortedKeys(b.inProgress) {
-		it := b.inProgress[id]
+	for _, id := range sortedKeys(pl.inProgress) {
+		it := pl.inProgress[id]
 		step := Step{Instance: id, Pool: it.inst.Pool, Wave: it.wave.decl.Name}
 		switch {
 		case it.inst.Phase == model.PhaseReleasing:
-			step.Kind, step.Reason = b.planReleasing(it, now, takenBack)
+			step.Kind, step.Reason = pl.planReleasing(it, now, takenBack)
 		case it.observation.Verified && it.observation.Restarted:
 			step.Kind, step.Done, step.Reason = StepReturn, true, "restarted and verified"
 		case it.observation.Restarted:
 			step.Kind, step.Reason = StepVerify, "announced with a higher incarnation"
-		case it.inst.PhaseSince+b.settings.StuckMillis <= now:
+		case it.inst.PhaseSince+pl.settings.StuckMillis <= now:
 			plan.Waits = append(plan.Waits, Wait{
 				Pool: it.inst.Pool, Wave: it.wave.decl.Name, Instance: id, Limit: LimitPlatform,
-				Current: int64(now - it.inst.PhaseSince), Max: int64(b.settings.StuckMillis),
+				Current: int64(now - it.inst.PhaseSince), Max: int64(pl.settings.StuckMillis),
 				Unblock: "the instance announces itself with a higher incarnation, or an operator declares it lost",
 			})
 		}
@@ -77,10 +77,10 @@
 // release is no longer allowed, for example after an unplanned loss, or over to
 // the platform once it is drained. takenBack counts the releases taken back in
 // this pass, by customer. The kind is empty while the instance has to wait.
-func (b *Planner[P, J]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
-	reason := b.takeBackReason(it, now, takenBack)
+func (pl *Planner[P, J]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
+	reason := pl.takeBackReason(it, now, takenBack)
 	if reason != "" {
-		for _, c := range b.customersByPool[it.inst.Pool] {
+		for _, c := range pl.customersByPool[it.inst.Pool] {
 			takenBack[c]++
 		}
 		return StepReturn, reason
@@ -93,40 +93,40 @@
 
 // takeBackReason returns the reason why a release must be taken back; empty if
 // it may continue.
-func (b *Planner[P, J]) takeBackReason(it *item, now clock.Millis, takenBack map[model.Customer]int) string {
-	if b.waves[it.wave.decl.Name] == nil {
+func (pl *Planner[P, J]) takeBackReason(it *item, now clock.Millis, takenBack map[model.Customer]int) string {
+	if pl.waves[it.wave.decl.Name] == nil {
 		return "the declaration was cancelled"
 	}
 	if it.wave.stopReason != "" {
 		return "the wave stopped: " + it.wave.stopReason
 	}
-	for _, c := range b.customersByPool[it.inst.Pool] {
-		a := b.customers[c]
-		if n := a.total - takenBack[c]; n > a.contract.MaxUnavailable {
-			return fmt.Sprintf("%d instances of %s are out of service; the contract allows %d", n, c, a.contract.MaxUnavailable)
+	for _, c := range pl.customersByPool[it.inst.Pool] {
+		cs := pl.customers[c]
+		if n := cs.total - takenBack[c]; n > cs.contract.MaxUnavailable {
+			return fmt.Sprintf("%d instances of %s are out of service; the contract allows %d", n, c, cs.contract.MaxUnavailable)
 		}
-		if a.lostInOtherDomain(a.domainOf(it.inst)) {
-			return fmt.Sprintf("%s lost an instance in another %s", c, a.contract.Covers)
+		if cs.lostInOtherDomain(cs.domainOf(it.inst)) {
+			return fmt.Sprintf("%s lost an instance in another %s", c, cs.contract.Covers)
 		}
-		used := a.windowUsed(now, b.settings.MaintenanceMillis, b.outages) - clock.Millis(takenBack[c])*b.settings.MaintenanceMillis
-		if a.contract.WindowMillis > 0 && used > a.contract.BudgetMillis {
-			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, a.contract.BudgetMillis)
+		used := cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages) - clock.Millis(takenBack[c])*pl.settings.MaintenanceMillis
+		if cs.contract.WindowMillis > 0 && used > cs.contract.BudgetMillis {
+			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, cs.contract.BudgetMillis)
 		}
 	}
 	return ""
 }
 
-func (b *Planner[P, J]) outages(p model.Pool) []Outage { return b.finishedOutages[p] }
+func (pl *Planner[P, J]) outages(p model.Pool) []Outage { return pl.finishedOutages[p] }
 
 // planReleases adds releases of due instances in the pools that changed. Pools
 // are processed in the order of their earliest deadline.
-func (b *Planner[P, J]) planReleases(now clock.Millis, plan *Plan) {
-	pools := sortedKeys(b.changedPools)
-	clear(b.changedPools)
+func (pl *Planner[P, J]) planReleases(now clock.Millis, plan *Plan) {
+	pools := sortedKeys(pl.changedPools)
+	clear(pl.changedPools)
 	earliest := map[model.Pool]clock.Millis{}
 	pools = slices.DeleteFunc(pools, func(p model.Pool) bool {
-		delete(b.waits, p)
-		q := b.dueByPool[p]
+		delete(pl.waits, p)
+		q := pl.dueByPool[p]
 		if q == nil || len(q.racks) == 0 {
 			return true
 		}
@@ -138,51 +138,51 @@
 	var released []*item
 	for _, p := range pools {
 		for {
-			it, wait := b.nextRelease(p, now, taken)
+			it, wait := pl.nextRelease(p, now, taken)
 			if it == nil {
-				b.recordWait(p, wait)
+				pl.recordWait(p, wait)
 				break
 			}
 			taken[it] = true
 			released = append(released, it)
 			plan.Steps = append(plan.Steps, Step{
-				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: b.releaseReason(it),
+				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: pl.releaseReason(it),
 			})
-			b.reserve(it, 1)
+			pl.reserve(it, 1)
 		}
 	}
 	// The tentative counts apply to this pass only: a release that is carried
 	// out is counted when the instance's phase changes.
 	for _, it := range released {
-		b.reserve(it, -1)
-		b.changedPools[it.inst.Pool] = true
+		pl.reserve(it, -1)
+		pl.changedPools[it.inst.Pool] = true
 	}
 }
 
 // recordWait records why due instances of the pool wait, and sets a timer for the
 // time at which to evaluate the pool again. It does nothing if w is nil.
-func (b *Planner[P, J]) recordWait(p model.Pool, w *Wait) {
+func (pl *Planner[P, J]) recordWait(p model.Pool, w *Wait) {
 	if w == nil {
 		return
 	}
-	b.waits[p] = *w
+	pl.waits[p] = *w
 	if w.Until > 0 {
-		b.setTimer("pool "+string(p), timer{at: w.Until, pool: string(p)})
+		pl.setTimer("pool "+string(p), timer{at: w.Until, pool: string(p)})
 	}
 }
 
 // reserve adds n tentative releases of the item, 1 or -1, to the counts of its
 // wave and customers.
-func (b *Planner[P, J]) reserve(it *item, n int) {
+func (pl *Planner[P, J]) reserve(it *item, n int) {
 	it.wave.tentativeReleases += n
-	for _, c := range b.customersByPool[it.inst.Pool] {
-		a := b.customers[c]
-		a.adjust(a.domainOf(it.inst), causeMaintenance, n)
-		a.tentativeReleases += n
+	for _, c := range pl.customersByPool[it.inst.Pool] {
+		cs := pl.customers[c]
+		cs.adjust(cs.domainOf(it.inst), causeMaintenance, n)
+		cs.tentativeReleases += n
 	}
 }
 
-func (b *Planner[P, J]) releaseReason(it *item) string {
+func (pl *Planner[P, J]) releaseReason(it *item) string {
 	w := it.wave
 	if w.observedCount == 0 {
 		return "canary of " + w.decl.Name
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -75,7 +75,7 @@
 func NewPlanner[P Pacer, J StopPolicy](pacer P, stopPolicy J, set Settings) *Planner[P, J] {
 	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
 	set.PressureRetryMillis = max(set.PressureRetryMillis, 1)
-	b := &Planner[P, J]{
+	pl := &Planner[P, J]{
 		pacer: pacer, stopPolicy: stopPolicy, settings: set,
 		items:           map[model.InstanceID]*item{},
 		itemsByPool:     map[model.Pool]map[model.InstanceID]*item{},
@@ -93,61 +93,61 @@
 		timerByKey:      map[string]clock.Millis{},
 	}
 	if set.PeriodMillis > 0 {
-		b.SetDeclaration(model.Maintenance{Name: Periodic, DeclaredAt: set.PeriodicStart})
+		pl.SetDeclaration(model.Maintenance{Name: Periodic, DeclaredAt: set.PeriodicStart})
 	}
-	return b
+	return pl
 }
 
 // PlanOnce loads a new planner with the whole state and returns the plan of its
 // first pass.
 func PlanOnce[P Pacer, J StopPolicy](pacer P, stopPolicy J, set Settings, in Input, now clock.Millis) Plan {
-	b := NewPlanner(pacer, stopPolicy, set)
-	b.Load(in)
-	return b.Pass(now)
+	pl := NewPlanner(pacer, stopPolicy, set)
+	pl.Load(in)
+	return pl.Pass(now)
 }
 
 // Load adds a whole state to the planner.
-func (b *Planner[P, J]) Load(in Input) {
+func (pl *Planner[P, J]) Load(in Input) {
 	for _, c := range in.Contracts {
-		b.SetContract(c)
+		pl.SetContract(c)
 	}
 	for _, m := range in.Declarations {
-		b.SetDeclaration(m)
+		pl.SetDeclaration(m)
 	}
 	for _, i := range in.Instances {
-		b.SetInstance(i)
+		pl.SetInstance(i)
 	}
 	for id, s := range in.Observations {
-		b.SetObservation(id, s)
+		pl.SetObservation(id, s)
 	}
 	for _, o := range in.Outages {
-		b.SetOutage(o)
+		pl.SetOutage(o)
 	}
 	for c, p := range in.Pressure {
-		b.SetPressure(c, p)
+		pl.SetPressure(c, p)
 	}
 }
 
 // SetInstance adds an instance or replaces its state.
-func (b *Planner[P, J]) SetInstance(i model.Instance) {
-	it := b.ensureItem(i.ID)
-	b.uncount(it)
-	delete(b.itemsByPool[it.inst.Pool], i.ID)
+func (pl *Planner[P, J]) SetInstance(i model.Instance) {
+	it := pl.ensureItem(i.ID)
+	pl.uncount(it)
+	delete(pl.itemsByPool[it.inst.Pool], i.ID)
 	it.inst = i
-	if b.itemsByPool[i.Pool] == nil {
-		b.itemsByPool[i.Pool] = map[model.InstanceID]*item{}
+	if pl.itemsByPool[i.Pool] == nil {
+		pl.itemsByPool[i.Pool] = map[model.InstanceID]*item{}
 	}
-	b.itemsByPool[i.Pool][i.ID] = it
+	pl.itemsByPool[i.Pool][i.ID] = it
 }
 
 // SetObservation replaces the observation of an instance.
-func (b *Planner[P, J]) SetObservation(id model.InstanceID, s Observation) {
-	it := b.ensureItem(id)
+func (pl *Planner[P, J]) SetObservation(id model.InstanceID, s Observation) {
+	it := pl.ensureItem(id)
 	calls, failures := s.Calls-it.observation.Calls, s.Failures-it.observation.Failures
 	same := it.observation
 	same.Calls, same.Failures = s.Calls, s.Failures
 	if !it.counted || same != s {
-		b.uncount(it)
+		pl.uncount(it)
 		it.observation = s
 		return
 	}
@@ -164,142 +164,142 @@
 	}
 }
 
-func (b *Planner[P, J]) ensureItem(id model.InstanceID) *item {
-	it := b.items[id]
+func (pl *Planner[P, J]) ensureItem(id model.InstanceID) *item {
+	it := pl.items[id]
 	if it == nil {
 		it = &item{inst: model.Instance{ID: id, Phase: model.PhaseRetired}}
-		b.items[id] = it
+		pl.items[id] = it
 	}
 	return it
 }
 
 // SetContract adds the contract of a customer or replaces it.
-func (b *Planner[P, J]) SetContract(c model.Contract) {
+func (pl *Planner[P, J]) SetContract(c model.Contract) {
 	pressure := 0
-	if old := b.customers[c.Customer]; old != nil {
+	if old := pl.customers[c.Customer]; old != nil {
 		pressure = old.pressure
 	}
-	b.RemoveContract(c.Customer)
-	a := newCustomerState(c)
-	a.pressure = pressure
-	for _, p := range a.pools {
-		b.uncountPool(p)
+	pl.RemoveContract(c.Customer)
+	cs := newCustomerState(c)
+	cs.pressure = pressure
+	for _, p := range cs.pools {
+		pl.uncountPool(p)
 	}
-	b.customers[c.Customer] = a
-	for _, p := range a.pools {
-		b.customersByPool[p] = append(b.customersByPool[p], c.Customer)
-		slices.Sort(b.customersByPool[p])
+	pl.customers[c.Customer] = cs
+	for _, p := range cs.pools {
+		pl.customersByPool[p] = append(pl.customersByPool[p], c.Customer)
+		slices.Sort(pl.customersByPool[p])
 	}
-	b.checkAllWaves()
+	pl.checkAllWaves()
 }
 
 // RemoveContract removes the contract of a customer, if there is one.
-func (b *Planner[P, J]) RemoveContract(name model.Customer) {
-	a := b.customers[name]
-	if a == nil {
+func (pl *Planner[P, J]) RemoveContract(name model.Customer) {
+	cs := pl.customers[name]
+	if cs == nil {
 		return
 	}
-	for _, p := range a.pools {
-		b.uncountPool(p)
+	for _, p := range cs.pools {
+		pl.uncountPool(p)
 	}
-	delete(b.customers, name)
-	for _, p := range a.pools {
-		b.customersByPool[p] = slices.DeleteFunc(b.customersByPool[p], func(c model.Customer) bool { return c == name })
+	delete(pl.customers, name)
+	for _, p := range cs.pools {
+		pl.customersByPool[p] = slices.DeleteFunc(pl.customersByPool[p], func(c model.Customer) bool { return c == name })
 	}
-	b.checkAllWaves()
+	pl.checkAllWaves()
 }
 
 // uncountPool removes the instances of the pool from all counts until the next pass.
-func (b *Planner[P, J]) uncountPool(p model.Pool) {
-	b.changedPools[p] = true
-	for _, it := range b.itemsByPool[p] {
-		b.uncount(it)
+func (pl *Planner[P, J]) uncountPool(p model.Pool) {
+	pl.changedPools[p] = true
+	for _, it := range pl.itemsByPool[p] {
+		pl.uncount(it)
 	}
 }
 
-func (b *Planner[P, J]) checkAllWaves() {
-	for _, n := range b.waveNames {
-		b.wavesToCheck[n] = true
+func (pl *Planner[P, J]) checkAllWaves() {
+	for _, n := range pl.waveNames {
+		pl.wavesToCheck[n] = true
 	}
 }
 
 // SetDeclaration adds a maintenance declaration or replaces the one of the same
 // name.
-func (b *Planner[P, J]) SetDeclaration(m model.Maintenance) {
-	b.RemoveDeclaration(m.Name)
-	b.waves[m.Name] = newWave(m)
-	b.waveNames = append(b.waveNames, m.Name)
-	slices.Sort(b.waveNames)
-	b.wavesToCheck[m.Name] = true
-	for _, it := range b.items {
-		b.uncount(it)
+func (pl *Planner[P, J]) SetDeclaration(m model.Maintenance) {
+	pl.RemoveDeclaration(m.Name)
+	pl.waves[m.Name] = newWave(m)
+	pl.waveNames = append(pl.waveNames, m.Name)
+	slices.Sort(pl.waveNames)
+	pl.wavesToCheck[m.Name] = true
+	for _, it := range pl.items {
+		pl.uncount(it)
 	}
 }
 
 // RemoveDeclaration removes a maintenance declaration, if there is one.
-func (b *Planner[P, J]) RemoveDeclaration(name string) {
-	if b.waves[name] == nil {
+func (pl *Planner[P, J]) RemoveDeclaration(name string) {
+	if pl.waves[name] == nil {
 		return
 	}
-	for _, it := range b.items {
-		b.uncount(it)
+	for _, it := range pl.items {
+		pl.uncount(it)
 	}
-	delete(b.waves, name)
-	delete(b.wavesToCheck, name)
-	b.waveNames = slices.DeleteFunc(b.waveNames, func(n string) bool { return n == name })
+	delete(pl.waves, name)
+	delete(pl.wavesToCheck, name)
+	pl.waveNames = slices.DeleteFunc(pl.waveNames, func(n string) bool { return n == name })
 }
 
 // SetOutage adds an outage. An outage with an end replaces the open outage of
 // the instance with the same start.
-func (b *Planner[P, J]) SetOutage(o Outage) {
-	if it := b.items[o.Instance]; it != nil {
-		b.uncount(it)
+func (pl *Planner[P, J]) SetOutage(o Outage) {
+	if it := pl.items[o.Instance]; it != nil {
+		pl.uncount(it)
 	}
 	if o.To == 0 {
-		b.openOutages[o.Instance] = o.From
+		pl.openOutages[o.Instance] = o.From
 		return
 	}
-	if b.openOutages[o.Instance] == o.From {
-		delete(b.openOutages, o.Instance)
+	if pl.openOutages[o.Instance] == o.From {
+		delete(pl.openOutages, o.Instance)
 	}
-	b.finishedOutages[o.Pool] = append(b.finishedOutages[o.Pool], o)
-	for _, c := range b.customersByPool[o.Pool] {
-		b.customers[c].usedAt = -1
-		b.markPools(b.customers[c])
+	pl.finishedOutages[o.Pool] = append(pl.finishedOutages[o.Pool], o)
+	for _, c := range pl.customersByPool[o.Pool] {
+		pl.customers[c].usedAt = -1
+		pl.markPools(pl.customers[c])
 	}
 }
 
 // SetPressure sets the permille of a customer's requests that were refused or
 // late.
-func (b *Planner[P, J]) SetPressure(c model.Customer, permille int) {
-	a := b.customers[c]
-	if a == nil || a.pressure == permille {
+func (pl *Planner[P, J]) SetPressure(c model.Customer, permille int) {
+	cs := pl.customers[c]
+	if cs == nil || cs.pressure == permille {
 		return
 	}
-	a.pressure = permille
-	b.markPools(a)
+	cs.pressure = permille
+	pl.markPools(cs)
 }
 
 // markPools marks the pools of the customer for evaluation in the next pass.
-func (b *Planner[P, J]) markPools(a *customerState) {
-	for _, p := range a.pools {
-		b.changedPools[p] = true
+func (pl *Planner[P, J]) markPools(cs *customerState) {
+	for _, p := range cs.pools {
+		pl.changedPools[p] = true
 	}
 }
 
 // prune drops the outages that ended before every customer's budget window. It
 // scans all outages, so it runs only once an hour.
-func (b *Planner[P, J]) prune(now clock.Millis) {
-	if now < b.prunedAt+clock.Hour {
+func (pl *Planner[P, J]) prune(now clock.Millis) {
+	if now < pl.prunedAt+clock.Hour {
 		return
 	}
-	b.prunedAt = now
-	for p, list := range b.finishedOutages {
+	pl.prunedAt = now
+	for p, list := range pl.finishedOutages {
 		longest := clock.Millis(0)
-		for _, c := range b.customersByPool[p] {
-			longest = max(longest, b.customers[c].contract.WindowMillis)
+		for _, c := range pl.customersByPool[p] {
+			longest = max(longest, pl.customers[c].contract.WindowMillis)
 		}
-		b.finishedOutages[p] = slices.DeleteFunc(list, func(o Outage) bool { return o.To <= now-longest })
+		pl.finishedOutages[p] = slices.DeleteFunc(list, func(o Outage) bool { return o.To <= now-longest })
 	}
 }
 
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -59,21 +59,21 @@
 // eject ejects an upstream, unless its peers fail as well or less than half of
 // the pool's upstreams would stay in service. It reports whether it ejected it.
 func (r *Router[P]) eject(now clock.Millis, u *Upstream) bool {
-	g := r.upstreamsByPool[u.Pool]
-	in, peers := 0, 0.0
-	for _, m := range g.members {
+	pu := r.upstreamsByPool[u.Pool]
+	inService, peers := 0, 0.0
+	for _, m := range pu.members {
 		if m == u {
 			continue
 		}
 		peers += m.Score
 		if !m.Ejected(now) {
-			in++
+			inService++
 		}
 	}
-	if in == 0 || in < (len(g.members)+1)/2 {
+	if inService == 0 || inService < (len(pu.members)+1)/2 {
 		return false
 	}
-	if u.Score <= 2*peers/float64(len(g.members)-1)+peerMargin {
+	if u.Score <= 2*peers/float64(len(pu.members)-1)+peerMargin {
 		return false
 	}
 	d := min(ejectBase<<min(u.ConsecutiveEjections, 10), ejectMax)
@@ -90,20 +90,20 @@
 // restoreMinimum ends ejections, the one that would end soonest first, until half
 // of the pool's upstreams are in service. It is called after an upstream left the
 // pool, or joined it while it was still ejected.
-func (g *poolUpstreams) restoreMinimum(now clock.Millis) {
+func (pu *poolUpstreams) restoreMinimum(now clock.Millis) {
 	for {
-		in := 0
+		inService := 0
 		var next *Upstream
-		for _, m := range g.members {
+		for _, m := range pu.members {
 			if !m.Ejected(now) {
-				in++
+				inService++
 				continue
 			}
 			if next == nil || m.EjectedUntil < next.EjectedUntil {
 				next = m
 			}
 		}
-		if next == nil || in >= (len(g.members)+1)/2 {
+		if next == nil || inService >= (len(pu.members)+1)/2 {
 			return
 		}
 		next.EjectedUntil, next.RoutableSince = now, now
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -23,14 +23,14 @@
 // not ejected, for the lender. waiting is the number of queued requests of the
 // pool.
 func (r *Router[P]) PoolUpstreamSlots(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
-	g := r.upstreamsByPool[p]
-	if g == nil {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
 		return buf
 	}
-	for i := range g.members {
+	for i := range pu.members {
 		// The first upstream rotates with the choices of the pool, so that loans
 		// spread over the upstreams.
-		u := g.members[(i+int(g.choices%uint64(len(g.members))))%len(g.members)]
+		u := pu.members[(i+int(pu.choices%uint64(len(pu.members))))%len(pu.members)]
 		if !u.Ejected(now) {
 			buf = append(buf, u.slots(waiting))
 		}
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -147,9 +147,9 @@
 		u.Pool = pool
 		if pool != "" {
 			u.RoutableSince = now
-			g := r.poolOf(pool)
-			g.members = append(g.members, u)
-			g.restoreMinimum(now)
+			pu := r.poolOf(pool)
+			pu.members = append(pu.members, u)
+			pu.restoreMinimum(now)
 		}
 	}
 	r.dropUnused(u)
@@ -170,23 +170,23 @@
 }
 
 func (r *Router[P]) poolOf(p model.Pool) *poolUpstreams {
-	g := r.upstreamsByPool[p]
-	if g == nil {
-		g = &poolUpstreams{}
-		r.upstreamsByPool[p] = g
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
+		pu = &poolUpstreams{}
+		r.upstreamsByPool[p] = pu
 	}
-	return g
+	return pu
 }
 
 func (r *Router[P]) removeFromPool(now clock.Millis, u *Upstream) {
-	g := r.upstreamsByPool[u.Pool]
-	if g == nil {
+	pu := r.upstreamsByPool[u.Pool]
+	if pu == nil {
 		return
 	}
-	for i, m := range g.members {
+	for i, m := range pu.members {
 		if m == u {
-			g.members = append(g.members[:i], g.members[i+1:]...)
-			g.restoreMinimum(now)
+			pu.members = append(pu.members[:i], pu.members[i+1:]...)
+			pu.restoreMinimum(now)
 			return
 		}
 	}
@@ -210,15 +210,15 @@
 
 // Reserve reserves a slot of an upstream of the pool; ok is false if none has free
 // capacity. The upstream to avoid is chosen only if no other has free capacity.
-func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
-	g := r.upstreamsByPool[p]
-	if g == nil || len(g.members) == 0 {
+func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (res Reservation, ok bool) {
+	pu := r.upstreamsByPool[p]
+	if pu == nil || len(pu.members) == 0 {
 		return Reservation{}, false
 	}
 	r.candidates = r.candidates[:0]
 	var chosen *Upstream
-	warm := g.hasWarmUpstream(now)
-	for _, u := range g.members {
+	warm := pu.hasWarmUpstream(now)
+	for _, u := range pu.members {
 		n := r.capacity(now, u, warm)
 		if u.Running >= n {
 			continue
@@ -230,8 +230,8 @@
 		r.candidates = append(r.candidates, Candidate{Upstream: u, Capacity: n})
 	}
 	if len(r.candidates) > 0 {
-		chosen = r.candidates[r.policy.Choose(r.candidates, g.choices)].Upstream
-		g.choices++
+		chosen = r.candidates[r.policy.Choose(r.candidates, pu.choices)].Upstream
+		pu.choices++
 	}
 	if chosen == nil {
 		return Reservation{}, false
@@ -258,16 +258,16 @@
 }
 
 // CancelReservation releases a reserved slot that was not used.
-func (r *Router[P]) CancelReservation(h Reservation) {
-	h.Upstream.Running--
-	r.dropUnused(h.Upstream)
+func (r *Router[P]) CancelReservation(res Reservation) {
+	res.Upstream.Running--
+	r.dropUnused(res.Upstream)
 }
 
 // hasWarmUpstream reports whether an upstream of the pool is in service and past
 // its slow start. If there is none, as after a start of this process, slow start
 // limits no upstream.
-func (g *poolUpstreams) hasWarmUpstream(now clock.Millis) bool {
-	for _, u := range g.members {
+func (pu *poolUpstreams) hasWarmUpstream(now clock.Millis) bool {
+	for _, u := range pu.members {
 		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
 			return true
 		}
@@ -293,12 +293,12 @@
 
 // Capacity returns the number of requests that the pool may run at once now.
 func (r *Router[P]) Capacity(now clock.Millis, p model.Pool) int {
-	g := r.upstreamsByPool[p]
-	if g == nil {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
 		return 0
 	}
-	n, warm := 0, g.hasWarmUpstream(now)
-	for _, u := range g.members {
+	n, warm := 0, pu.hasWarmUpstream(now)
+	for _, u := range pu.members {
 		n += r.capacity(now, u, warm)
 	}
 	return n
@@ -307,28 +307,28 @@
 // Routable returns the number of upstreams of the pool, ejected ones included,
 // and their slots in this process's share.
 func (r *Router[P]) Routable(p model.Pool) (upstreams, slots int) {
-	g := r.upstreamsByPool[p]
-	if g == nil {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
 		return 0, 0
 	}
-	for _, u := range g.members {
+	for _, u := range pu.members {
 		slots += u.Slots
 	}
-	return len(g.members), slots
+	return len(pu.members), slots
 }
 
 // End releases the slot of a finished request and reports whether its outcome
 // ejected the upstream. Outcomes of requests to an earlier generation or
 // incarnation of the upstream are ignored, because they say nothing about the
 // present process.
-func (r *Router[P]) End(now clock.Millis, h Reservation, o Outcome) (ejected bool) {
-	u := h.Upstream
+func (r *Router[P]) End(now clock.Millis, res Reservation, o Outcome) (ejected bool) {
+	u := res.Upstream
 	u.Running--
-	if h.Generation != u.Generation && u.OldRunning > 0 {
+	if res.Generation != u.Generation && u.OldRunning > 0 {
 		u.OldRunning--
 		r.unblock(u)
 	}
-	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
+	if res.Generation == u.Generation && res.Incarnation == u.Incarnation && u.Pool != "" {
 		ejected = r.recordOutcome(now, u, o)
 	}
 	r.dropUnused(u)
