Name tests and their locals for the rule they check

TestEjectionKeepsHalfOfThePool, TestPauseExtendsLeases, TestControllerKeepsLimits and TestMovesDoNotBlockOtherDomains replace names with a floor, grace, a gate and a hold-up. Five texts of failed assertions are reworded; no check changed.

--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -86,7 +86,7 @@
 
 // Guards against more requests in flight or waiting than a share allows, expired or
 // cancelled requests that run, and requests that are lost or never removed.
-func TestGateKeepsLimits(t *testing.T) {
+func TestControllerKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulation{
 			g: New[WeightedFair, int](WeightedFair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -297,10 +297,10 @@
 	assert.Equal(t, retired, fleet.MaxRetired)
 	assert.Equal(t, len(s.TableChanges), fleet.MaxTableChanges)
 	late := model.Table{}
-	assert.Assert(t, s.Delta(1).Full, "a reader behind the touches gets the whole table")
+	assert.Assert(t, s.Delta(1).Full, "a reader behind the recorded changes gets the whole table")
 	assert.Assert(t, fleet.Merge(&late, s.Delta(1)))
 	assert.Equal(t, len(late.Instances), len(s.Instances))
-	assert.Assert(t, !fleet.Merge(&late, model.Delta{To: 1, Full: true}), "a table never goes down")
+	assert.Assert(t, !fleet.Merge(&late, model.Delta{To: 1, Full: true}), "the version of a table never decreases")
 }
 
 // Guards against a claim that stays running after its process has died, and against
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -156,6 +156,7 @@
 	}
 }
 
+// outageBudget returns the limit on the time out of service per window.
 func outageBudget(b, window clock.Millis) Limit {
 	l := Limit{
 		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
@@ -167,6 +168,8 @@
 	return l
 }
 
+// concurrency returns the requested concurrency, or the slots of the promised
+// instances if the contract requests none.
 func concurrency[P SlotsPolicy](policy P, c model.Contract, f Fleet) Limit {
 	if c.Concurrency > 0 {
 		return requested(Concurrency, c.Concurrency)
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -151,6 +151,7 @@
 	}
 }
 
+// markWave marks the pools with pending instances of the wave for evaluation.
 func (pl *Planner[P, J]) markWave(w *wave) {
 	for p := range w.byPool {
 		pl.changedPools[p] = true
@@ -197,6 +198,7 @@
 	pl.timers.Push(timer{at: next, instance: string(it.inst.ID)})
 }
 
+// dueQueue returns the queue of due instances of the pool, creating it if needed.
 func (pl *Planner[P, J]) dueQueue(p model.Pool) *dueQueue {
 	q := pl.dueByPool[p]
 	if q == nil {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -170,7 +170,7 @@
 
 // Guards against treating an instance that moves between pools as lost, which would
 // block or take back maintenance in other domains.
-func TestMovesDoNotHoldUpOtherDomains(t *testing.T) {
+func TestMovesDoNotBlockOtherDomains(t *testing.T) {
 	w := newFakeFleet(3, 12, 3, 1, 1, model.DomainZone, 3)
 	w.declare(clock.Day)
 	w.instances["i0003"] = maintainedAt(w.instances["i0003"], w.now)
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -138,7 +138,7 @@
 
 // Guards against a process that expires all leases after it was itself paused, and
 // against one whose pauses keep the leases of dead instances valid.
-func TestPausedObserverGrantsGrace(t *testing.T) {
+func TestPauseExtendsLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := New(Settings{Zone: "z"}, 0)
 		_, err := r.Accept(0, direct(announcement("dead", 1)))
@@ -152,12 +152,12 @@
 		assert.NilError(t, err)
 		resumed := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
 		for _, l := range r.Expire(resumed, nil) {
-			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
+			assert.Assert(t, l.Announcement.Instance != "a", "the lease of a expired at the end of the pause")
 		}
 		a, _ := r.Get("a")
 		assert.Equal(t, a.ExpiresAt, resumed+DefaultLease)
 		dead, known := r.Get("dead")
-		assert.Assert(t, !known || dead.Expired, "the pause revived what was gone")
+		assert.Assert(t, !known || dead.Expired, "the pause extended a lease that had expired")
 		gone := 0
 		for step := range clock.Millis(4) {
 			gone += len(r.Expire(resumed+step*1000, nil))
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -31,7 +31,7 @@
 // Record is the latest announcement of an instance.
 type Record struct {
 	Announcement model.Announcement
-	// SentAt is the time at which the latest announcement was sent: the time of its
+	// SentAt is the latest time at which an announcement was sent: the time of its
 	// receipt minus its age.
 	SentAt clock.Millis
 	// ExpiresAt is the end of the lease; it never moves back within an
@@ -96,8 +96,8 @@
 
 // Tick sets the current time and reports whether this process was paused. After a
 // gap longer than MaxTickGap, the process itself was paused and could not receive
-// announcements, so every lease that was valid at the last tick is extended to one
-// full lease from now.
+// announcements, so every lease that was valid at the last tick is extended to at
+// least one full lease from now.
 func (t *Roster) Tick(now clock.Millis) (paused bool) {
 	before := t.lastTick
 	t.lastTick = max(t.lastTick, now)
@@ -115,12 +115,12 @@
 
 // Accept records an announcement, or returns an *Error if it is refused. changed
 // reports whether anything but the lease has changed.
-func (t *Roster) Accept(now clock.Millis, h ReceivedAnnouncement) (changed bool, err error) {
+func (t *Roster) Accept(now clock.Millis, ra ReceivedAnnouncement) (changed bool, err error) {
 	t.Tick(now)
-	if e := t.check(now, h); e != nil {
+	if e := t.check(now, ra); e != nil {
 		return false, e
 	}
-	a := h.Announcement
+	a := ra.Announcement
 	r := t.records[a.Instance]
 	if r == nil {
 		r = &Record{}
@@ -134,11 +134,11 @@
 		delete(t.byAddress, old)
 	}
 	r.Announcement = a
-	r.SentAt = max(r.SentAt, now-h.Age)
-	r.ExpiresAt = max(r.ExpiresAt, now-h.Age+t.cfg.Lease)
+	r.SentAt = max(r.SentAt, now-ra.Age)
+	r.ExpiresAt = max(r.ExpiresAt, now-ra.Age+t.cfg.Lease)
 	r.Expired = false
 	t.byAddress[a.Address] = a.Instance
-	if h.Direct {
+	if ra.Direct {
 		t.seq++
 		t.unlink(r)
 		r.Seq = t.seq
@@ -147,13 +147,14 @@
 	return changed, nil
 }
 
-func (t *Roster) check(now clock.Millis, h ReceivedAnnouncement) *Error {
-	a := h.Announcement
+// check returns the reason why an announcement is refused; nil if it is accepted.
+func (t *Roster) check(now clock.Millis, ra ReceivedAnnouncement) *Error {
+	a := ra.Announcement
 	if e := validate(a, t.cfg.Zone); e != nil {
 		return e
 	}
-	if h.Age < 0 || h.Age >= t.cfg.Lease {
-		return refusal(KindStale, "the announcement was %d ms under way", h.Age)
+	if ra.Age < 0 || ra.Age >= t.cfg.Lease {
+		return refusal(KindStale, "the announcement was %d ms under way", ra.Age)
 	}
 	if other, ok := t.byAddress[a.Address]; ok && other != a.Instance {
 		if o := t.records[other]; o != nil && o.Live(now) && o.Announcement.State == model.AnnounceServing {
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -98,20 +98,20 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
 		type request struct {
-			held Reservation
-			// until is the highest version that may be confirmed while the
+			reservation Reservation
+			// maxDrained is the highest version that may be confirmed while the
 			// request runs.
-			until model.Version
+			maxDrained model.Version
 		}
 		var requests []*request
 		phase := map[model.InstanceID]model.Phase{}
-		v, again := model.Version(1), false
+		v, routableEarly := model.Version(1), false
 		r.Version = v
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(*rapid.T) {
 				if h, ok := r.Reserve(start, "p", ""); ok {
 					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
-					requests = append(requests, &request{held: h, until: 1 << 40})
+					requests = append(requests, &request{reservation: h, maxDrained: 1 << 40})
 				}
 			},
 			"end": func(t *rapid.T) {
@@ -119,12 +119,12 @@
 					t.Skip()
 				}
 				k := rapid.IntRange(0, len(requests)-1).Draw(t, "which")
-				r.End(start, requests[k].held, OutcomeOK)
+				r.End(start, requests[k].reservation, OutcomeOK)
 				requests = append(requests[:k:k], requests[k+1:]...)
 			},
 			"step": func(t *rapid.T) {
 				id := model.InstanceID(fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "instance")))
-				held := v
+				before := v
 				v += model.Version(rapid.IntRange(1, 3).Draw(t, "versions"))
 				i := entryOf(id, v)
 				switch rapid.IntRange(0, 3).Draw(t, "phase") {
@@ -133,41 +133,41 @@
 				case 1:
 					i.Phase = model.PhaseMaintenance
 				case 2:
-					r.RemoveInstance(start, id, held)
+					r.RemoveInstance(start, id, before)
 					i.Phase = model.PhaseRetired
 				}
 				if i.Phase != model.PhaseServing && phase[id] == model.PhaseServing {
-					limit := held
+					limit := before
 					if i.Phase == model.PhaseReleasing {
 						limit = v - 1
 					}
-					for _, f := range requests {
-						if f.held.Upstream.Instance == id {
-							f.until = min(f.until, limit)
+					for _, req := range requests {
+						if req.reservation.Upstream.Instance == id {
+							req.maxDrained = min(req.maxDrained, limit)
 						}
 					}
 				}
 				if i.Phase == model.PhaseServing && phase[id] != model.PhaseServing {
 					// The control group would wait for the confirmation first. Here
 					// the result may be lower than necessary.
-					again = true
+					routableEarly = true
 				}
 				phase[id] = i.Phase
 				if i.Phase != model.PhaseRetired {
-					r.SetInstance(start, i, held)
+					r.SetInstance(start, i, before)
 				}
 				r.Version = v
 			},
 			"": func(*rapid.T) {
 				want, old := v, 0
-				for _, f := range requests {
-					want = min(want, f.until)
-					if f.until <= v {
+				for _, req := range requests {
+					want = min(want, req.maxDrained)
+					if req.maxDrained <= v {
 						old++
 					}
 				}
 				assert.Assert(t, r.DrainedVersion() <= want, "%d was confirmed, %d is the most", r.DrainedVersion(), want)
-				if old == 0 || !again {
+				if old == 0 || !routableEarly {
 					assert.Equal(t, r.DrainedVersion(), want)
 				}
 			},
@@ -177,7 +177,7 @@
 
 // Guards against ejections that leave less than half of a pool's upstreams in
 // service, and against slots that are not released.
-func TestFloorKeepsThePoolAlive(t *testing.T) {
+func TestEjectionKeepsHalfOfThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 7).Draw(t, "upstreams")
 		r := pool(LeastLoaded{}, n)
@@ -208,15 +208,15 @@
 			},
 			"time": func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "ms")) },
 			"": func(t *rapid.T) {
-				in := 0
+				inService := 0
 				members := r.upstreamsByPool["p"].members
 				for _, u := range members {
 					assert.Equal(t, u.Running, 0)
 					if !u.Ejected(now) {
-						in++
+						inService++
 					}
 				}
-				assert.Assert(t, in >= (len(members)+1)/2, "%d of %d are in", in, len(members))
+				assert.Assert(t, inService >= (len(members)+1)/2, "%d of %d are in service", inService, len(members))
 				assert.Assert(t, r.Capacity(now, "p") > 0)
 			},
 		})
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -59,8 +59,8 @@
 	// BlockedRelease is the table version of the earliest release that cannot be
 	// confirmed yet because of OldRunning or Lent; 0 if both are 0.
 	BlockedRelease model.Version
-	// RoutableSince is the time at which the upstream became routable or at which
-	// its last ejection ends. Its slow start begins then.
+	// RoutableSince is the time from which slow start is counted: when the upstream
+	// became routable, when its process restarted, or when its last ejection ends.
 	RoutableSince clock.Millis
 	// Score is the smoothed failure rate, from 0 to 1.
 	Score float64
