--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against shares that add up to more, or to less, than the contract.
+// Guards against shares that do not add up to the total of the contract.
 func TestSharesAddUpToTheTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := rapid.IntRange(0, 10_000).Draw(t, "total")
@@ -36,7 +36,8 @@
 	assert.Equal(t, Share(10, rank, count), 0)
 }
 
-// Guards against a contract whose limit is not derived from its promise.
+// Guards against a limit that is not derived from the promised instances of the
+// contract.
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
@@ -45,31 +46,32 @@
 	assert.Equal(t, LimitOf(c, slots).MaxInFlight, 5)
 }
 
-// world runs a gate against a pool with a number of slots and keeps its own
-// account of who runs and waits.
-type world struct {
-	g       *Controller[WeightedFair, int]
-	slots   int
-	running map[model.Customer]int
-	lines   []*Queue[int]
-	waiting map[int]*Waiter[int]
-	limits  map[model.Customer]Limit
-	next    int
-	now     clock.Millis
+// simulation runs a controller against a pool with a number of slots, and tracks the
+// running and waiting requests independently of it.
+type simulation struct {
+	g             *Controller[WeightedFair, int]
+	slots         int
+	running       map[model.Customer]int
+	runningQueues []*Queue[int]
+	waiting       map[int]*Waiter[int]
+	limits        map[model.Customer]Limit
+	next          int
+	now           clock.Millis
 }
 
-func (w *world) inFlight() int { return len(w.lines) }
+func (w *simulation) inFlight() int { return len(w.runningQueues) }
 
-func (w *world) drop(ids []int) {
+func (w *simulation) removeWaiting(ids []int) {
 	for _, id := range ids {
 		delete(w.waiting, id)
 	}
 }
 
-func (w *world) pump(t *rapid.T) {
+// startWaiters starts waiters until all slots are in use or none may run.
+func (w *simulation) startWaiters(t *rapid.T) {
 	for w.inFlight() < w.slots {
 		wt, late := w.g.Next(w.now, "p", nil)
-		w.drop(late)
+		w.removeWaiting(late)
 		if wt == nil {
 			assert.Assert(t, !w.g.HasRunnable("p"), "a waiter that may run was not chosen")
 			return
@@ -77,56 +79,56 @@
 		assert.Assert(t, wt.Deadline > w.now, "an expired waiter was run")
 		assert.Assert(t, w.waiting[wt.Ref] == wt, "a waiter was run twice or after it left")
 		delete(w.waiting, wt.Ref)
-		w.lines = append(w.lines, wt.Queue())
+		w.runningQueues = append(w.runningQueues, wt.Queue())
 		w.running[wt.Queue().Customer.Name]++
 	}
 }
 
-// Guards against more in flight or waiting than a share, expired or cancelled
-// requests that run, and requests that are lost or kept for ever.
-func TestGateKeepsLimits(t *testing.T) {
+// Guards against more requests in flight or waiting than a share allows, expired or
+// cancelled requests that run, and requests that are lost or never removed.
+func TestControllerKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{
+		w := &simulation{
 			g: New[WeightedFair, int](WeightedFair{}), slots: rapid.IntRange(1, 6).Draw(t, "slots"),
 			running: map[model.Customer]int{}, waiting: map[int]*Waiter[int]{}, limits: map[model.Customer]Limit{},
 		}
 		pools := []model.PoolShare{{Pool: "p"}}
 		for i := range 3 {
-			l := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), MaxQueued: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
+			limit := Limit{MaxInFlight: rapid.IntRange(0, 4).Draw(t, "share"), MaxQueued: rapid.IntRange(0, 4).Draw(t, "queue"), Weight: i}
 			c := model.Customer(fmt.Sprint(i))
-			w.limits[c] = l
-			w.g.SetCustomer(c, l, pools)
+			w.limits[c] = limit
+			w.g.SetCustomer(c, limit, pools)
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"ask": func(t *rapid.T) {
 				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
-				l, why := w.g.Queue(c, "p")
-				if why != ReasonNone {
-					assert.Equal(t, why, ReasonShare)
+				q, reason := w.g.Queue(c, "p")
+				if reason != ReasonNone {
+					assert.Equal(t, reason, ReasonShare)
 					return
 				}
-				if l.CanRun() && l.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
-					w.g.Start(l)
-					w.lines = append(w.lines, l)
+				if q.CanRun() && q.Len() == 0 && !w.g.HasRunnable("p") && w.inFlight() < w.slots {
+					w.g.Start(q)
+					w.runningQueues = append(w.runningQueues, q)
 					w.running[c]++
 					return
 				}
 				w.next++
-				wt, why := w.g.Enqueue(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), l, w.slots, w.next)
-				if why == ReasonNone {
+				wt, reason := w.g.Enqueue(w.now, w.now+clock.Millis(rapid.IntRange(1, 50).Draw(t, "ms")), q, w.slots, w.next)
+				if reason == ReasonNone {
 					w.waiting[w.next] = wt
 				}
 			},
 			"end": func(t *rapid.T) {
-				if len(w.lines) == 0 {
+				if len(w.runningQueues) == 0 {
 					t.Skip()
 				}
-				i := rapid.IntRange(0, len(w.lines)-1).Draw(t, "which")
-				l := w.lines[i]
-				w.lines = append(w.lines[:i:i], w.lines[i+1:]...)
-				w.running[l.Customer.Name]--
-				w.g.End(l, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
-				w.pump(t)
+				i := rapid.IntRange(0, len(w.runningQueues)-1).Draw(t, "which")
+				q := w.runningQueues[i]
+				w.runningQueues = append(w.runningQueues[:i:i], w.runningQueues[i+1:]...)
+				w.running[q.Customer.Name]--
+				w.g.End(q, clock.Millis(rapid.IntRange(-1, 20).Draw(t, "elapsed")))
+				w.startWaiters(t)
 			},
 			"cancel": func(t *rapid.T) {
 				for id, wt := range w.waiting {
@@ -137,7 +139,7 @@
 			},
 			"time": func(t *rapid.T) {
 				w.now += clock.Millis(rapid.IntRange(1, 30).Draw(t, "ms"))
-				w.drop(w.g.Expire(w.now, nil))
+				w.removeWaiting(w.g.Expire(w.now, nil))
 			},
 			"": func(t *rapid.T) {
 				waits := 0
@@ -153,18 +155,18 @@
 	})
 }
 
-// share runs a pool of one slot under a flood of a and a few of b, and returns
-// how many of each were started in n starts.
+// share runs a pool of one slot with a flood of requests of customer a and a few of
+// customer b. It returns how many of n started requests belong to each of them.
 func share[P Picker](picker P, weightA, weightB, n int) (a, b int) {
 	g := New[P, model.Customer](picker)
 	pools := []model.PoolShare{{Pool: "p"}}
 	g.SetCustomer("a", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightA}, pools)
 	g.SetCustomer("b", Limit{MaxInFlight: 10, MaxQueued: 1000, Weight: weightB}, pools)
 	fill := func(c model.Customer, want int) {
-		l, _ := g.Queue(c, "p")
-		for l.Len() < want {
-			if _, why := g.Enqueue(0, 1<<40, l, 1, c); why != ReasonNone {
-				panic(why)
+		q, _ := g.Queue(c, "p")
+		for q.Len() < want {
+			if _, reason := g.Enqueue(0, 1<<40, q, 1, c); reason != ReasonNone {
+				panic(reason)
 			}
 		}
 	}
@@ -182,7 +184,7 @@
 	return a, b
 }
 
-// Guards against a flood of one customer that starves another.
+// Guards against a flood of requests of one customer that starves another.
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
@@ -194,21 +196,22 @@
 	assert.Assert(t, b < 10, "the baseline is expected to starve b, which got %d", b)
 }
 
-// Guards against waiting for something that cannot come in time, and against
-// refusing what can.
-func TestDeadlineDecidesAtTheDoor(t *testing.T) {
+// Guards against queueing a request that cannot end before its deadline, and
+// against refusing one that can.
+func TestEnqueueChecksDeadline(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Queue("a", "p")
-	g.Start(l)
-	g.End(l, 100)
-	// Two slots at 100 ms: a place in the queue every 50 ms, and an eighth more.
+	q, _ := g.Queue("a", "p")
+	g.Start(q)
+	g.End(q, 100)
+	// Two slots at 100 ms per request: the estimated wait grows by 50 ms with each
+	// waiter, plus a margin of an eighth.
 	for k := range 4 {
 		need := clock.Millis(50*(k+1)*9/8 + 100)
-		_, why := g.Enqueue(0, need, l, 2, k)
-		assert.Equal(t, why, ReasonDeadline)
-		_, why = g.Enqueue(0, need+1, l, 2, k)
-		assert.Equal(t, why, ReasonNone)
+		_, reason := g.Enqueue(0, need, q, 2, k)
+		assert.Equal(t, reason, ReasonDeadline)
+		_, reason = g.Enqueue(0, need+1, q, 2, k)
+		assert.Equal(t, reason, ReasonNone)
 	}
 	// At 60 ms the first waiter, due at 157, can no longer end in time.
 	w, late := g.Next(60, "p", nil)
@@ -216,25 +219,25 @@
 	assert.Equal(t, w.Ref, 1)
 }
 
-// Guards against a few long requests that keep all short ones from waiting.
+// Guards against a few long requests that keep all short ones from being queued.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
-	l, _ := g.Queue("a", "p")
+	q, _ := g.Queue("a", "p")
 	for k := range 1000 {
-		g.Start(l)
+		g.Start(q)
 		elapsed := clock.Millis(10)
 		if k%20 == 0 {
 			elapsed = 2000
 		}
-		g.End(l, elapsed)
+		g.End(q, elapsed)
 	}
-	assert.Assert(t, l.hall.needs() < 50, "%d", l.hall.needs())
-	_, why := g.Enqueue(0, 200, l, 32, 1)
-	assert.Equal(t, why, ReasonNone)
+	assert.Assert(t, q.poolQueues.timeNeeded() < 50, "%d", q.poolQueues.timeNeeded())
+	_, reason := g.Enqueue(0, 200, q, 32, 1)
+	assert.Equal(t, reason, ReasonNone)
 }
 
-// Guards against retries that multiply the load.
+// Guards against more retries than RetryPercent of the first attempts, plus one.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
@@ -255,21 +258,21 @@
 	})
 }
 
-// Guards against forgetting what a removed contract still has in flight.
+// Guards against losing count of the requests in flight of a removed contract.
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
 	g.SetCustomer("a", Limit{MaxInFlight: 2, MaxQueued: 2}, pools)
-	l, _ := g.Queue("a", "p")
-	g.Start(l)
-	_, why := g.Enqueue(0, 100, l, 1, 7)
-	assert.Equal(t, why, ReasonNone)
+	q, _ := g.Queue("a", "p")
+	g.Start(q)
+	_, reason := g.Enqueue(0, 100, q, 1, 7)
+	assert.Equal(t, reason, ReasonNone)
 	assert.DeepEqual(t, g.RemoveCustomer("a"), []int{7})
-	_, why = g.Queue("a", "p")
-	assert.Equal(t, why, ReasonContract)
+	_, reason = g.Queue("a", "p")
+	assert.Equal(t, reason, ReasonContract)
 	g.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
 	assert.Equal(t, g.Customer("a").Running, 1)
 	g.RemoveCustomer("a")
-	g.End(l, 1)
+	g.End(q, 1)
 	assert.Assert(t, g.Customer("a") == nil)
 }
--- /dev/null
+++ b/core/state/admit/controller.go
@@ -0,0 +1,368 @@
+package admit
+
+import (
+	"math"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// Reason is the reason why a request was refused or dropped.
+type Reason int
+
+// The reasons for a refusal; ReasonNone for an admitted request.
+const (
+	ReasonNone Reason = iota
+	// ReasonContract: the customer has no contract.
+	ReasonContract
+	// ReasonPool: the contract does not cover the pool.
+	ReasonPool
+	// ReasonShare: this process has no share of the contract's concurrency.
+	ReasonShare
+	// ReasonQueue: the customer's queue is full.
+	ReasonQueue
+	// ReasonDeadline: the request is not expected to end before its deadline.
+	ReasonDeadline
+	// ReasonRetry: the customer's retry budget is spent.
+	ReasonRetry
+)
+
+var reasonNames = [...]string{
+	"", "no contract", "pool not in contract", "no share", "queue full",
+	"deadline cannot be met", "retry budget spent",
+}
+
+// String returns the text used in answers to callers and in logs.
+func (r Reason) String() string {
+	if r < 0 || int(r) >= len(reasonNames) {
+		return "unknown"
+	}
+	return reasonNames[r]
+}
+
+// Parameters of the run time and wait estimates.
+const (
+	// runTimeWeight is the weight of a new sample in the typical run time.
+	runTimeWeight = 0.1
+	// likelyShare is the quantile of the run times that a request must have left
+	// before its deadline when it starts. likelyStep is the step of the quantile
+	// estimate, as a part of the typical run time. With the mean instead of the
+	// quantile, half of the requests that started at the last moment missed their
+	// deadline, and a few long requests kept all short ones from being queued.
+	likelyShare = 0.85
+	likelyStep  = 0.05
+	// likelyFall is the smallest step down, as a part of the distance between the
+	// estimate and the typical run time.
+	likelyFall = 0.2
+	// waitMargin is added to the estimated wait, as a part of it, because the
+	// estimate leaves out the time between two requests on a slot.
+	waitMargin = 0.125
+)
+
+// Controller decides which requests run. R is the caller's reference to a queued
+// request. A Controller is not safe for concurrent use.
+type Controller[P Picker, R any] struct {
+	picker      P
+	customers   map[model.Customer]*CustomerState[R]
+	pools       map[model.Pool]*poolQueues[R]
+	lastArrival uint64
+	// candidateInfos and candidates are scratch space for one choice.
+	candidateInfos []*QueueInfo
+	candidates     []*Queue[R]
+}
+
+// CustomerState is the state of one customer in this process.
+type CustomerState[R any] struct {
+	Name  model.Customer
+	Limit Limit
+	// Running is the number of requests in flight. It exceeds Limit.MaxInFlight
+	// only after the limit was reduced.
+	Running int
+	// Waiting is the number of queued requests in all pools.
+	Waiting int
+	// RetryTokens is the number of retries allowed now; at most retryBurst.
+	RetryTokens float64
+	// removed is set when the contract was removed while requests were in flight.
+	// The state is kept until they end, so that a new contract of the same
+	// customer counts them.
+	removed bool
+	queues  map[model.Pool]*Queue[R]
+}
+
+// poolQueues holds the queues of one pool and its run time estimates.
+type poolQueues[R any] struct {
+	// active lists the queues that are not empty.
+	active []*Queue[R]
+	// virtualTime is the virtual time of the last request that started, for
+	// weighted fair queueing.
+	virtualTime float64
+	// typicalRunTime is the smoothed run time in milliseconds; 0 without a sample.
+	typicalRunTime float64
+	// likelyRunTime estimates the likelyShare quantile of the run times, in
+	// milliseconds.
+	likelyRunTime float64
+}
+
+// timeNeeded returns the time that a request must have left before its deadline
+// when it starts.
+func (pq *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(pq.likelyRunTime)) }
+
+// addRunTime updates the estimates with the run time of a request, in
+// milliseconds.
+func (pq *poolQueues[R]) addRunTime(elapsed float64) {
+	if pq.typicalRunTime == 0 {
+		pq.typicalRunTime, pq.likelyRunTime = elapsed, elapsed
+		return
+	}
+	pq.typicalRunTime += runTimeWeight * (elapsed - pq.typicalRunTime)
+	step := likelyStep * pq.typicalRunTime
+	if elapsed < pq.likelyRunTime {
+		// Far above the typical run time the estimate falls geometrically.
+		// Otherwise one long request would distort it for thousands of others.
+		step = max(step, (pq.likelyRunTime-pq.typicalRunTime)*likelyFall)
+		pq.likelyRunTime = max(pq.likelyRunTime-step*(1-likelyShare), 0)
+		return
+	}
+	pq.likelyRunTime += step * likelyShare
+}
+
+// New returns a controller without customers.
+func New[P Picker, R any](picker P) *Controller[P, R] {
+	return &Controller[P, R]{
+		picker:    picker,
+		customers: map[model.Customer]*CustomerState[R]{},
+		pools:     map[model.Pool]*poolQueues[R]{},
+	}
+}
+
+// SetCustomer sets this process's share of a customer's limits. It removes the
+// queues of pools that the contract no longer covers and returns the references
+// of their waiters.
+func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
+	a := g.customers[name]
+	if a == nil {
+		a = &CustomerState[R]{Name: name, queues: map[model.Pool]*Queue[R]{}}
+		if share.RetryPercent > 0 {
+			a.RetryTokens = 1
+		}
+		g.customers[name] = a
+	}
+	share.Weight = max(share.Weight, 1)
+	a.Limit = share
+	a.removed = false
+	covered := make(map[model.Pool]bool, len(pools))
+	for _, p := range pools {
+		covered[p.Pool] = true
+		if a.queues[p.Pool] == nil {
+			a.queues[p.Pool] = &Queue[R]{Customer: a, Pool: p.Pool, poolQueues: g.poolQueues(p.Pool)}
+		}
+		a.queues[p.Pool].info.Weight = share.Weight
+	}
+	var out []R
+	for p, q := range a.queues {
+		if !covered[p] {
+			out = q.clear(out)
+			delete(a.queues, p)
+		}
+	}
+	return out
+}
+
+// RemoveCustomer removes a customer and returns the references of its waiters.
+func (g *Controller[P, R]) RemoveCustomer(name model.Customer) []R {
+	a := g.customers[name]
+	if a == nil {
+		return nil
+	}
+	var out []R
+	for _, q := range a.queues {
+		out = q.clear(out)
+	}
+	a.removed = true
+	g.dropUnused(a)
+	return out
+}
+
+// dropUnused drops the state of a customer whose contract was removed and that
+// has no requests in flight.
+func (g *Controller[P, R]) dropUnused(a *CustomerState[R]) {
+	if a.removed && a.Running == 0 {
+		delete(g.customers, a.Name)
+	}
+}
+
+func (g *Controller[P, R]) poolQueues(p model.Pool) *poolQueues[R] {
+	pq := g.pools[p]
+	if pq == nil {
+		pq = &poolQueues[R]{}
+		g.pools[p] = pq
+	}
+	return pq
+}
+
+// Queue returns the queue of a customer in a pool, or the reason why requests of
+// the customer cannot run in this process.
+func (g *Controller[P, R]) Queue(c model.Customer, p model.Pool) (*Queue[R], Reason) {
+	a := g.customers[c]
+	if a == nil || a.removed {
+		return nil, ReasonContract
+	}
+	q := a.queues[p]
+	if q == nil {
+		return nil, ReasonPool
+	}
+	if a.Limit.MaxInFlight == 0 {
+		return nil, ReasonShare
+	}
+	return q, ReasonNone
+}
+
+// Customer returns the state of a customer; nil if the customer is unknown.
+func (g *Controller[P, R]) Customer(c model.Customer) *CustomerState[R] { return g.customers[c] }
+
+// EachCustomer calls f for every customer.
+func (g *Controller[P, R]) EachCustomer(f func(*CustomerState[R])) {
+	for _, a := range g.customers {
+		f(a)
+	}
+}
+
+// EachWaiting calls f for every pool in which the customer has queued requests,
+// with their number.
+func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
+	for p, q := range a.queues {
+		if q.length > 0 {
+			f(p, q.length)
+		}
+	}
+}
+
+// Start counts a request that starts without having been queued.
+func (g *Controller[P, R]) Start(q *Queue[R]) {
+	q.Customer.Running++
+	q.advanceVirtualTime()
+}
+
+// End counts the end of a request. Its run time updates the estimates of the pool
+// unless it is negative.
+func (g *Controller[P, R]) End(q *Queue[R], elapsed clock.Millis) {
+	q.Customer.Running--
+	g.dropUnused(q.Customer)
+	if elapsed >= 0 {
+		q.poolQueues.addRunTime(float64(elapsed))
+	}
+}
+
+// TypicalRunTime returns the smoothed run time of a pool; 0 if it is unknown.
+func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
+	if pq := g.pools[p]; pq != nil {
+		return clock.Millis(pq.typicalRunTime)
+	}
+	return 0
+}
+
+// Enqueue queues a request. slots is the number of requests that the pool can run
+// at once. The request is refused if the customer's queue is full, or if it is
+// not expected to end before the deadline after its wait and run time.
+func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, q *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
+	if q.Customer.Waiting >= q.Customer.Limit.MaxQueued {
+		return nil, ReasonQueue
+	}
+	wait := q.EstimateWait(slots)
+	wait += clock.Millis(float64(wait) * waitMargin)
+	if now+wait+q.poolQueues.timeNeeded() >= deadline {
+		return nil, ReasonDeadline
+	}
+	g.lastArrival++
+	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, arrival: g.lastArrival}
+	q.push(w)
+	return w, ReasonNone
+}
+
+// HasRunnable reports whether a pool has a waiter whose customer is below its
+// share.
+func (g *Controller[P, R]) HasRunnable(p model.Pool) bool {
+	pq := g.pools[p]
+	if pq == nil {
+		return false
+	}
+	for _, q := range pq.active {
+		if q.CanRun() {
+			return true
+		}
+	}
+	return false
+}
+
+// RunnableCount returns the number of waiters of a pool that the shares of their
+// customers allow to run now.
+func (g *Controller[P, R]) RunnableCount(p model.Pool) int {
+	pq := g.pools[p]
+	if pq == nil {
+		return 0
+	}
+	n := 0
+	for _, q := range pq.active {
+		n += max(0, min(q.length, q.Customer.Limit.MaxInFlight-q.Customer.Running))
+	}
+	return n
+}
+
+// Next removes the waiter that runs next from the queues of a pool and counts it
+// as running; nil if none may run. Waiters at the head of a queue that can no
+// longer end before their deadline are removed and appended to late.
+func (g *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
+	pq := g.pools[p]
+	if pq == nil {
+		return nil, late
+	}
+	late = pq.dropUnfinishable(now+pq.timeNeeded(), late)
+	g.candidateInfos, g.candidates = g.candidateInfos[:0], g.candidates[:0]
+	for _, q := range pq.active {
+		if q.CanRun() {
+			g.candidateInfos = append(g.candidateInfos, &q.info)
+			g.candidates = append(g.candidates, q)
+		}
+	}
+	if len(g.candidates) == 0 {
+		return nil, late
+	}
+	q := g.candidates[g.picker.Pick(g.candidateInfos)]
+	w := q.first
+	q.remove(w)
+	q.Customer.Running++
+	q.advanceVirtualTime()
+	return w, late
+}
+
+// Expire removes the waiters whose deadline has passed and appends them to late.
+func (g *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
+	for _, pq := range g.pools {
+		for i := len(pq.active) - 1; i >= 0; i-- {
+			late = pq.active[i].expire(now, late)
+		}
+	}
+	return late
+}
+
+// Clear removes all waiters of a pool and appends them to out.
+func (g *Controller[P, R]) Clear(p model.Pool, out []R) []R {
+	pq := g.pools[p]
+	if pq == nil {
+		return out
+	}
+	for len(pq.active) > 0 {
+		out = pq.active[0].clear(out)
+	}
+	return out
+}
+
+// WaitingPools appends the pools that have waiters to buf.
+func (g *Controller[P, R]) WaitingPools(buf []model.Pool) []model.Pool {
+	for p, pq := range g.pools {
+		if len(pq.active) > 0 {
+			buf = append(buf, p)
+		}
+	}
+	return buf
+}
--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Apply applies the change at the given log index and returns its answer.
-// Changes at or below the state's index were applied before and must not be
-// passed again.
+// Apply applies the change at the given log index and returns its result. A
+// change whose request was answered before is not applied again and gets the
+// stored result. The index must be above the state's index.
 func (s *State) Apply(index model.Version, c model.Change) model.Result {
 	s.Index = index
 	s.Time = max(s.Time, c.Time)
@@ -20,14 +20,14 @@
 			return r
 		}
 	}
-	r := s.dispatch(index, c)
+	r := s.applyByKind(index, c)
 	if c.Request != "" {
 		s.Results.Put(c.Request, r, s.Time)
 	}
 	return r
 }
 
-func (s *State) dispatch(index model.Version, c model.Change) model.Result {
+func (s *State) applyByKind(index model.Version, c model.Change) model.Result {
 	switch c.Kind {
 	case model.ChangeNone:
 		return model.Result{Version: index}
@@ -40,13 +40,13 @@
 	case model.ChangeMaintenanceCancel:
 		return s.cancelMaintenance(index, c)
 	case model.ChangeInstances:
-		return s.stepInstances(index, c)
+		return s.applyInstanceSteps(index, c)
 	case model.ChangeClaims:
 		return s.applyClaims(index, c)
 	case model.ChangeOutcomes:
 		return s.applyOutcomes(index, c)
 	case model.ChangeProcessGone:
-		return s.declareGone(index, c)
+		return s.declareProcessGone(index, c)
 	case model.ChangeJobs:
 		s.Jobs.Apply(c.Ops, s.Time)
 		return model.Result{Version: index}
@@ -55,8 +55,9 @@
 	}
 }
 
-// declareGone remembers that the runs of an entry process so far have ended.
-func (s *State) declareGone(index model.Version, c model.Change) model.Result {
+// declareProcessGone records that all runs of an entry process that started
+// before now have ended.
+func (s *State) declareProcessGone(index model.Version, c model.Change) model.Result {
 	if c.Process == "" {
 		return invalid("the change names no process")
 	}
@@ -71,7 +72,8 @@
 	return model.Result{Kind: model.ResultInvalid, Reason: reason}
 }
 
-// conflict names the winner of a change against an outdated version.
+// conflict returns the result of a change that was based on an outdated version
+// of the object. It names the author of the change that won.
 func (s *State) conflict(object string, current model.Version, differs []string) model.Result {
 	a, known := s.Authors[object]
 	reason := fmt.Sprintf("%s is at version %d", object, current)
@@ -90,19 +92,20 @@
 	}
 }
 
-// missing answers a removal of an object that does not exist. When its
-// removal is still remembered, that removal won against this one.
-func (s *State) missing(object string) model.Result {
+// removalConflict returns the result of removing an object that does not exist:
+// a conflict with the earlier removal if that is still recorded, otherwise
+// invalid.
+func (s *State) removalConflict(object string) model.Result {
 	if _, known := s.Authors[object]; known {
 		return s.conflict(object, 0, nil)
 	}
 	return invalid(object + " does not exist")
 }
 
-// removed records who removed an object and forgets the oldest removals. Half
-// of them go at once, so that the search for the oldest is paid once for many
-// removals.
-func (s *State) removed(object, author string, index model.Version) {
+// recordRemoval records the author of a removal. When there are more than
+// MaxRemoved removals, it drops all but the latest MaxRemoved/2, so that the cost
+// of sorting them is spread over many removals.
+func (s *State) recordRemoval(object, author string, index model.Version) {
 	s.Authors[object] = Author{Name: author, Version: index}
 	over := len(s.Authors) - len(s.Contracts) - len(s.Instances) - len(s.Maintenance) - MaxRemoved
 	if over <= 0 {
@@ -122,6 +125,8 @@
 	}
 }
 
+// exists reports whether an object exists; its name is a key of Authors, the kind of
+// object and its name separated by a space.
 func (s *State) exists(object string) bool {
 	kind, name, _ := strings.Cut(object, " ")
 	var ok bool
@@ -141,31 +146,31 @@
 	if name == "" {
 		return invalid("the contract names no customer")
 	}
-	held := s.Contracts[name]
+	current := s.Contracts[name]
 	object := "contract " + string(name)
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, contractDiff(held, c.Contract))
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, contractDiff(current, c.Contract))
 	}
 	next := c.Contract
 	next.Version = index
 	s.Contracts[name] = next
 	s.Authors[object] = Author{Name: c.Author, Version: index}
-	s.touch(TableChange{Version: index, Contract: name})
+	s.recordTableChange(TableChange{Version: index, Contract: name})
 	return model.Result{Version: index, Reason: c.Note}
 }
 
 func (s *State) removeContract(index model.Version, c model.Change) model.Result {
-	held, ok := s.Contracts[c.Customer]
+	current, ok := s.Contracts[c.Customer]
 	object := "contract " + string(c.Customer)
 	if !ok {
-		return s.missing(object)
+		return s.removalConflict(object)
 	}
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, nil)
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, nil)
 	}
 	delete(s.Contracts, c.Customer)
-	s.removed(object, c.Author, index)
-	s.touch(TableChange{Version: index, Contract: c.Customer})
+	s.recordRemoval(object, c.Author, index)
+	s.recordTableChange(TableChange{Version: index, Contract: c.Customer})
 	return model.Result{Version: index}
 }
 
@@ -174,10 +179,10 @@
 	if m.Name == "" {
 		return invalid("the maintenance has no name")
 	}
-	held := s.Maintenance[m.Name]
+	current := s.Maintenance[m.Name]
 	object := "maintenance " + m.Name
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, maintenanceDiff(held, m))
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, maintenanceDiff(current, m))
 	}
 	m.Version = index
 	m.DeclaredAt = s.Time
@@ -187,20 +192,20 @@
 }
 
 func (s *State) cancelMaintenance(index model.Version, c model.Change) model.Result {
-	held, ok := s.Maintenance[c.Maintenance.Name]
+	current, ok := s.Maintenance[c.Maintenance.Name]
 	object := "maintenance " + c.Maintenance.Name
 	if !ok {
-		return s.missing(object)
+		return s.removalConflict(object)
 	}
-	if held.Version != c.Base {
-		return s.conflict(object, held.Version, nil)
+	if current.Version != c.Base {
+		return s.conflict(object, current.Version, nil)
 	}
 	delete(s.Maintenance, c.Maintenance.Name)
-	s.removed(object, c.Author, index)
+	s.recordRemoval(object, c.Author, index)
 	return model.Result{Version: index}
 }
 
-// contractDiff names the settings in which two contracts differ.
+// contractDiff returns the names of the settings in which two contracts differ.
 func contractDiff(a, b model.Contract) []string {
 	var d []string
 	add := func(name string, differs bool) {
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -9,10 +9,10 @@
 	"camphorridge/core/state/model"
 )
 
-// transitions lists the phases that may follow on a phase. Leaving a pool, be
-// it for another pool, for maintenance or for good, always starts with a
-// release, because only a release makes the entry processes of the zone
-// confirm that their requests ended. Nothing follows on retired.
+// transitions lists the allowed next phases of each phase. An instance that
+// leaves its pool, for another pool, for maintenance or to be retired, is always
+// released first: only a release makes the entry processes of the zone confirm
+// that their requests have ended. Retired is final.
 var transitions = [...][]model.Phase{
 	model.PhaseServing:     {model.PhaseServing, model.PhaseReleasing},
 	model.PhaseReleasing:   {model.PhaseServing, model.PhaseMaintenance, model.PhaseRetired},
@@ -20,32 +20,33 @@
 	model.PhaseRetired:     nil,
 }
 
-// stepInstances applies all steps or none, so that a batch that was decided
+// applyInstanceSteps applies all steps or none, so that a batch that was planned
 // on an outdated state changes nothing.
-func (s *State) stepInstances(index model.Version, c model.Change) model.Result {
+func (s *State) applyInstanceSteps(index model.Version, c model.Change) model.Result {
 	seen := make(map[model.InstanceID]bool, len(c.Instances))
 	for _, step := range c.Instances {
 		id := step.Instance.ID
 		if seen[id] {
-			// Both steps would be checked against the state before the batch.
+			// Each step is checked against the state before the batch, so a second
+			// step would not see the first.
 			return invalid(fmt.Sprintf("two steps for instance %s in one change", id))
 		}
 		seen[id] = true
-		held := s.Instances[id]
-		if held.Version != step.Base {
-			return s.conflict("instance "+string(id), held.Version, nil)
+		current := s.Instances[id]
+		if current.Version != step.Base {
+			return s.conflict("instance "+string(id), current.Version, nil)
 		}
-		if err := checkStep(held, step.Instance); err != "" {
+		if err := checkStep(current, step.Instance); err != "" {
 			return invalid(err)
 		}
 	}
 	retired := false
 	for _, step := range c.Instances {
-		next := s.account(s.Instances[step.Instance.ID], step.Instance, s.Time)
+		next := s.withTimes(s.Instances[step.Instance.ID], step.Instance, s.Time)
 		next.Version = index
 		s.Instances[next.ID] = next
 		s.Authors["instance "+string(next.ID)] = Author{Name: c.Author, Version: index}
-		s.touch(TableChange{Version: index, Instance: next.ID})
+		s.recordTableChange(TableChange{Version: index, Instance: next.ID})
 		retired = retired || next.Phase == model.PhaseRetired
 	}
 	if retired {
@@ -54,22 +55,22 @@
 	return model.Result{Version: index}
 }
 
-// account sets the times of the next state of an instance and remembers an
-// outage that ends with it. now is the state's time, not that of the change: a
-// new leader's clock may be behind, and an outage must not end before its
-// start.
-func (s *State) account(held, next model.Instance, now clock.Millis) model.Instance {
-	next.PhaseSince = held.PhaseSince
-	if held.ID == "" || next.Phase != held.Phase {
+// withTimes returns the next state of an instance with its times set. If the step
+// ends an outage, it also records the outage. now is the state's time rather than
+// that of the change: a new leader's clock may be behind, and an outage must not
+// end before its start.
+func (s *State) withTimes(current, next model.Instance, now clock.Millis) model.Instance {
+	next.PhaseSince = current.PhaseSince
+	if current.ID == "" || next.Phase != current.Phase {
 		next.PhaseSince = now
 	}
-	next.OutSince = held.OutSince
+	next.OutSince = current.OutSince
 	switch {
-	case next.OutOfService() && held.OutSince == 0:
+	case next.OutOfService() && current.OutSince == 0:
 		next.OutSince = now
-	case !next.OutOfService() && held.OutSince != 0:
+	case !next.OutOfService() && current.OutSince != 0:
 		next.OutSince = 0
-		s.Outages = append(s.Outages, model.Outage{Instance: held.ID, Pool: held.Pool, From: held.OutSince, To: now})
+		s.Outages = append(s.Outages, model.Outage{Instance: current.ID, Pool: current.Pool, From: current.OutSince, To: now})
 		if over := len(s.Outages) - MaxOutages; over > 0 {
 			s.Outages = s.Outages[over:]
 		}
@@ -77,9 +78,9 @@
 	return next
 }
 
-// checkStep returns the reason why the step would break the rule that an
-// instance belongs to exactly one pool; empty when it is allowed.
-func checkStep(held, next model.Instance) string {
+// checkStep returns the reason why the step is not allowed; empty if it is. The
+// checks ensure that an instance belongs to exactly one pool.
+func checkStep(current, next model.Instance) string {
 	switch {
 	case next.ID == "" || next.Pool == "" || next.Zone == "":
 		return "the step names no instance, no pool or no zone"
@@ -89,34 +90,34 @@
 		return fmt.Sprintf("instance %s has a negative number of slots or connections", next.ID)
 	case next.Phase == model.PhaseReleasing && next.Target == "":
 		return fmt.Sprintf("the release of instance %s names no target pool", next.ID)
-	case held.ID == "":
-		return checkEnrol(next)
-	case held.Zone != next.Zone:
-		return fmt.Sprintf("instance %s is in zone %s, not %s", held.ID, held.Zone, next.Zone)
-	case !slices.Contains(transitions[held.Phase], next.Phase):
-		return fmt.Sprintf("instance %s of pool %s is %s and cannot become %s", held.ID, held.Pool, held.Phase, next.Phase)
-	case held.Pool != next.Pool && !finishesMove(held, next):
-		return fmt.Sprintf("instance %s was not released from pool %s to pool %s", held.ID, held.Pool, next.Pool)
+	case current.ID == "":
+		return checkEnrolment(next)
+	case current.Zone != next.Zone:
+		return fmt.Sprintf("instance %s is in zone %s, not %s", current.ID, current.Zone, next.Zone)
+	case !slices.Contains(transitions[current.Phase], next.Phase):
+		return fmt.Sprintf("instance %s of pool %s is %s and cannot become %s", current.ID, current.Pool, current.Phase, next.Phase)
+	case current.Pool != next.Pool && !finishesMove(current, next):
+		return fmt.Sprintf("instance %s was not released from pool %s to pool %s", current.ID, current.Pool, next.Pool)
 	}
 	return ""
 }
 
-func checkEnrol(next model.Instance) string {
+func checkEnrolment(next model.Instance) string {
 	if next.Phase != model.PhaseServing && next.Phase != model.PhaseMaintenance {
 		return fmt.Sprintf("instance %s cannot be enrolled as %s", next.ID, next.Phase)
 	}
 	return ""
 }
 
-// finishesMove reports whether the step is the only one that changes a pool:
-// from a release towards that very pool.
-func finishesMove(held, next model.Instance) bool {
-	return held.Phase == model.PhaseReleasing && next.Phase == model.PhaseServing && next.Pool == held.Target
+// finishesMove reports whether the step ends a release in its target pool. No
+// other step may change the pool of an instance.
+func finishesMove(current, next model.Instance) bool {
+	return current.Phase == model.PhaseReleasing && next.Phase == model.PhaseServing && next.Pool == current.Target
 }
 
-// dropRetired removes the instances that were retired first when there are
-// too many. Their names may be enrolled again: each left its pool by a
-// confirmed release.
+// dropRetired removes the instances that were retired first while there are more
+// than MaxRetired. Their IDs may be enrolled again, because each instance left
+// its pool by a confirmed release.
 func (s *State) dropRetired(index model.Version) {
 	var retired []model.Instance
 	for _, i := range s.Instances {
@@ -134,28 +135,28 @@
 	for _, i := range retired[:over] {
 		delete(s.Instances, i.ID)
 		delete(s.Authors, "instance "+string(i.ID))
-		s.touch(TableChange{Version: index, Instance: i.ID})
+		s.recordTableChange(TableChange{Version: index, Instance: i.ID})
 	}
 }
 
-func (s *State) touch(t TableChange) {
+func (s *State) recordTableChange(t TableChange) {
 	s.Version = t.Version
 	s.TableChanges = append(s.TableChanges, t)
 	if over := len(s.TableChanges) - MaxTableChanges; over > 0 {
-		// The front is cut off without a copy; append moves the rest to a new
-		// array when this one is full.
+		// Reslicing drops the front without a copy. When the array is full, append
+		// moves the rest to a new one.
 		s.TableChanges = s.TableChanges[over:]
 	}
 }
 
-// Delta returns what changed in the table since a version. Its size follows
-// what changed; a reader further behind than the touches reach gets the whole
-// table.
+// Delta returns the changes of the table since a version. Its size is
+// proportional to the number of changed objects. A reader that is further behind
+// than TableChanges reaches gets the whole table.
 func (s *State) Delta(from model.Version) model.Delta {
 	if from == s.Version {
 		return model.Delta{From: from, To: s.Version}
 	}
-	if from > s.Version || !s.covers(from) {
+	if from > s.Version || !s.changesReach(from) {
 		return s.fullDelta()
 	}
 	d := model.Delta{From: from, To: s.Version}
@@ -191,8 +192,8 @@
 	d.RemovedInstances = append(d.RemovedInstances, id)
 }
 
-// covers reports whether the touches hold every change after from.
-func (s *State) covers(from model.Version) bool {
+// changesReach reports whether TableChanges holds every change after from.
+func (s *State) changesReach(from model.Version) bool {
 	if len(s.TableChanges) < MaxTableChanges {
 		return true
 	}
@@ -203,7 +204,7 @@
 	return FullDelta(s.Version, s.Contracts, s.Instances)
 }
 
-// FullDelta returns a delta that replaces a table by the given content.
+// FullDelta returns a delta that replaces a table with the given content.
 func FullDelta(v model.Version, contracts map[model.Customer]model.Contract, instances map[model.InstanceID]model.Instance) model.Delta {
 	d := model.Delta{To: v, Full: true}
 	for _, c := range contracts {
@@ -215,8 +216,8 @@
 	return d
 }
 
-// Merge applies a delta to a table. It reports false, and changes nothing,
-// when the delta would lower the version or does not follow on the table.
+// Merge applies a delta to a table. It returns false and changes nothing if the
+// delta would lower the table's version or does not start at it.
 func Merge(t *model.Table, d model.Delta) bool {
 	if d.To < t.Version || (!d.Full && d.From != t.Version) {
 		return false
--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -8,25 +8,25 @@
 	"camphorridge/core/state/model"
 )
 
-// shortMaintenance states every deadline that the disruption budgets exclude:
-// those of declarations and that of the periodic goal. In pools that the
-// customer shares with another one, the budget of either bounds maintenance,
-// so the other's deadlines are stated too.
-func shortMaintenance(set Settings, q Input) []Shortfall {
+// maintenanceShortfalls returns a shortfall for every maintenance deadline that the
+// disruption limits make impossible to meet, for declarations and for periodic
+// maintenance. In pools shared with another customer, the limits of either
+// customer restrict maintenance, so those of the other are checked too.
+func maintenanceShortfalls(set Settings, in Input) []Shortfall {
 	var out []Shortfall
-	own := poolsOf(q.Contract)
-	for _, m := range q.Declarations {
-		out = append(out, shortDeadline(set, q, q.Contract, "maintenance "+m.Name, countDue(q.Fleet, m, own), m.Deadline-q.Now)...)
-		for _, o := range allContracts(q)[1:] {
+	own := poolsOf(in.Contract)
+	for _, m := range in.Declarations {
+		out = append(out, deadlineShortfalls(set, in, in.Contract, "maintenance "+m.Name, countDue(in.Fleet, m, own), m.Deadline-in.Now)...)
+		for _, o := range allContracts(in)[1:] {
 			shared := poolsOf(o)
 			maps.DeleteFunc(shared, func(p model.Pool, _ bool) bool { return !own[p] })
 			name := fmt.Sprintf("maintenance %s in pools shared with %s", m.Name, o.Customer)
-			out = append(out, shortDeadline(set, q, o, name, countDue(q.Fleet, m, shared), m.Deadline-q.Now)...)
+			out = append(out, deadlineShortfalls(set, in, o, name, countDue(in.Fleet, m, shared), m.Deadline-in.Now)...)
 		}
 	}
 	if set.PeriodMillis > 0 {
-		n := PromisedInstances(q.Contract) + q.Contract.Spare
-		out = append(out, shortDeadline(set, q, q.Contract, "periodic maintenance", n, set.PeriodMillis)...)
+		n := PromisedInstances(in.Contract) + in.Contract.Spare
+		out = append(out, deadlineShortfalls(set, in, in.Contract, "periodic maintenance", n, set.PeriodMillis)...)
 	}
 	return out
 }
@@ -42,8 +42,8 @@
 	return pools
 }
 
-// countDue counts the instances of the pools that a declaration still has to
-// reach.
+// countDue returns the number of instances of the pools that still have to be
+// maintained for a declaration.
 func countDue(f Fleet, m model.Maintenance, pools map[model.Pool]bool) int {
 	n := 0
 	for _, i := range f.Instances {
@@ -54,16 +54,18 @@
 	return n
 }
 
-func shortDeadline(set Settings, q Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
+// deadlineShortfalls returns the shortfalls of contract c if n instances have to be
+// maintained in the time left. name becomes the subject of the shortfalls.
+func deadlineShortfalls(set Settings, in Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
-	if have := byWidth(set, q.Fleet, c, left); int64(n) > have {
+	if have := allowedByMaxUnavailable(set, in.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
 				name, n, left, c.MaxUnavailable, set.MaintenanceMillis, have),
 		})
 	}
-	if have := byBudget(set, c, left); int64(n) > have {
+	if have := allowedByBudget(set, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallBudget, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
@@ -73,11 +75,12 @@
 	return out
 }
 
-// byWidth is the number of maintenances that max-unavailable allows in the
-// time left. It is an upper bound: unplanned losses use the same allowance.
-// Never two failure domains are disrupted at once, so the width is also
-// bounded by the largest domain of the covered kind.
-func byWidth(set Settings, f Fleet, c model.Contract, left clock.Millis) int64 {
+// allowedByMaxUnavailable returns the number of maintenances that max-unavailable
+// allows in the time left. It is an upper bound, because unplanned losses also
+// count against max-unavailable. Two failure domains are never disrupted at once,
+// so the number of concurrent maintenances is also limited by the size of the
+// largest domain of the covered kind.
+func allowedByMaxUnavailable(set Settings, f Fleet, c model.Contract, left clock.Millis) int64 {
 	if left <= 0 {
 		return 0
 	}
@@ -89,9 +92,9 @@
 	return int64(left/max(set.MaintenanceMillis, 1)) * width
 }
 
-// byBudget is the number of maintenances that the window budget allows in the
-// time left: a full budget at the start and one more after each window.
-func byBudget(set Settings, c model.Contract, left clock.Millis) int64 {
+// allowedByBudget returns the number of maintenances that the window budget allows
+// in the time left: one full budget for each window that has started.
+func allowedByBudget(set Settings, c model.Contract, left clock.Millis) int64 {
 	if c.WindowMillis == 0 {
 		return Unbounded
 	}
--- /dev/null
+++ b/core/state/maint/due_queue.go
@@ -0,0 +1,94 @@
+package maint
+
+import (
+	"slices"
+	"strings"
+
+	"camphorridge/core/state/model"
+)
+
+// dueQueue holds the serving instances of one pool that are due for
+// maintenance, by rack.
+type dueQueue struct {
+	// racks is sorted by zone, then by rack; none is empty.
+	racks []*rackQueue
+}
+
+// rackQueue holds the due instances of one rack, sorted by deadline, then by ID.
+type rackQueue struct {
+	zone  model.Zone
+	rack  model.Rack
+	items []*item
+}
+
+// find returns the index of the instance's rack in racks, or the index at which
+// to insert it.
+func (q *dueQueue) find(i model.Instance) (at int, ok bool) {
+	return slices.BinarySearchFunc(q.racks, i, func(s *rackQueue, i model.Instance) int {
+		if c := strings.Compare(string(s.zone), string(i.Zone)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(s.rack), string(i.Rack))
+	})
+}
+
+// byDeadline compares items by deadline, then by ID.
+func byDeadline(a, b *item) int {
+	if a.deadline != b.deadline {
+		if a.deadline < b.deadline {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(string(a.inst.ID), string(b.inst.ID))
+}
+
+func (q *dueQueue) add(it *item) {
+	at, ok := q.find(it.inst)
+	if !ok {
+		q.racks = slices.Insert(q.racks, at, &rackQueue{zone: it.inst.Zone, rack: it.inst.Rack})
+	}
+	s := q.racks[at]
+	pos, _ := slices.BinarySearchFunc(s.items, it, byDeadline)
+	s.items = slices.Insert(s.items, pos, it)
+}
+
+func (q *dueQueue) remove(it *item) {
+	at, ok := q.find(it.inst)
+	if !ok {
+		return
+	}
+	s := q.racks[at]
+	s.items = slices.DeleteFunc(s.items, func(x *item) bool { return x == it })
+	if len(s.items) == 0 {
+		q.racks = slices.Delete(q.racks, at, at+1)
+	}
+}
+
+// first returns the item with the earliest deadline; nil if the queue is empty.
+func (q *dueQueue) first() *item {
+	var best *item
+	for _, s := range q.racks {
+		if best == nil || byDeadline(s.items[0], best) < 0 {
+			best = s.items[0]
+		}
+	}
+	return best
+}
+
+// racksByDeadline returns the racks sorted by their earliest deadline, then by
+// zone and rack, so that racks with the same deadline are processed one after
+// the other, zone by zone.
+func (q *dueQueue) racksByDeadline() []*rackQueue {
+	out := slices.Clone(q.racks)
+	slices.SortStableFunc(out, func(a, b *rackQueue) int {
+		switch x, y := a.items[0].deadline, b.items[0].deadline; {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -9,59 +9,61 @@
 	"camphorridge/core/state/model"
 )
 
-// Pass returns the next steps. It changes nothing but the index: a step that
-// is not carried out is returned again by the next pass.
-func (b *Planner[P, J]) Pass(now clock.Millis) Plan {
+// Pass runs one planning pass and returns the next steps. It changes only the
+// index: if a step is not carried out, the next pass returns it again.
+func (pl *Planner[P, J]) Pass(now clock.Millis) Plan {
 	var plan Plan
-	b.prune(now)
-	b.fire(now)
-	b.judgeWaves(&plan)
-	b.passFlight(now, &plan)
-	b.passReady(now, &plan)
-	b.passDeadlines(now, &plan)
-	for _, p := range sortedKeys(b.waits) {
-		plan.Waits = append(plan.Waits, b.waits[p])
-	}
-	if b.due.Len() > 0 {
-		plan.NextPassAt = b.due.Top().at
+	pl.prune(now)
+	pl.processChanges(now)
+	pl.evaluateWaves(&plan)
+	pl.planInProgress(now, &plan)
+	pl.planReleases(now, &plan)
+	pl.checkDeadlines(now, &plan)
+	for _, p := range sortedKeys(pl.waits) {
+		plan.Waits = append(plan.Waits, pl.waits[p])
+	}
+	if pl.timers.Len() > 0 {
+		plan.NextPassAt = pl.timers.Top().at
 	}
 	return plan
 }
 
-func (b *Planner[P, J]) judgeWaves(plan *Plan) {
-	for _, name := range b.names {
-		w := b.waves[name]
+// evaluateWaves applies the stop policy to each wave and adds the stopped ones to
+// the plan.
+func (pl *Planner[P, J]) evaluateWaves(plan *Plan) {
+	for _, name := range pl.waveNames {
+		w := pl.waves[name]
 		reason := ""
 		if w.touched.Instances > 0 {
-			reason = b.judge.StopReason(w.touched, w.peers)
+			reason = pl.stopPolicy.StopReason(w.touched, w.peers)
 		}
-		if (reason == "") != (w.stop == "") {
-			b.touchWave(w)
+		if (reason == "") != (w.stopReason == "") {
+			pl.markWave(w)
 		}
-		w.stop = reason
+		w.stopReason = reason
 		if reason != "" {
 			plan.Stops = append(plan.Stops, Stop{Wave: name, Touched: w.touched, Peers: w.peers, Reason: reason})
 		}
 	}
 }
 
-// passFlight takes the steps of the instances whose maintenance has begun.
-func (b *Planner[P, J]) passFlight(now clock.Millis, plan *Plan) {
-	back := map[model.Customer]int{}
-	for _, id := range sortedKeys(b.flight) {
-		it := b.flight[id]
+// planInProgress adds the steps of the instances whose maintenance has started.
+func (pl *Planner[P, J]) planInProgress(now clock.Millis, plan *Plan) {
+	takenBack := map[model.Customer]int{}
+	for _, id := range sortedKeys(pl.inProgress) {
+		it := pl.inProgress[id]
 		step := Step{Instance: id, Pool: it.inst.Pool, Wave: it.wave.decl.Name}
 		switch {
 		case it.inst.Phase == model.PhaseReleasing:
-			step.Kind, step.Reason = b.releasing(it, now, back)
-		case it.seen.Verified && it.seen.Restarted:
+			step.Kind, step.Reason = pl.planReleasing(it, now, takenBack)
+		case it.observation.Verified && it.observation.Restarted:
 			step.Kind, step.Done, step.Reason = StepReturn, true, "restarted and verified"
-		case it.seen.Restarted:
+		case it.observation.Restarted:
 			step.Kind, step.Reason = StepVerify, "announced with a higher incarnation"
-		case it.inst.PhaseSince+b.set.StuckMillis <= now:
+		case it.inst.PhaseSince+pl.settings.StuckMillis <= now:
 			plan.Waits = append(plan.Waits, Wait{
 				Pool: it.inst.Pool, Wave: it.wave.decl.Name, Instance: id, Limit: LimitPlatform,
-				Current: int64(now - it.inst.PhaseSince), Max: int64(b.set.StuckMillis),
+				Current: int64(now - it.inst.PhaseSince), Max: int64(pl.settings.StuckMillis),
 				Unblock: "the instance announces itself with a higher incarnation, or an operator declares it lost",
 			})
 		}
@@ -71,111 +73,118 @@
 	}
 }
 
-// releasing returns the step of an instance that is not handed over yet: back
-// to service when an unplanned loss has used up what its release counted on.
-func (b *Planner[P, J]) releasing(it *item, now clock.Millis, back map[model.Customer]int) (StepKind, string) {
-	reason := b.takeBack(it, now, back)
+// planReleasing returns the step of a releasing instance: back to service if its
+// release is no longer allowed, for example after an unplanned loss, or over to
+// the platform once it is drained. takenBack counts the releases taken back in
+// this pass, by customer. The kind is empty while the instance has to wait.
+func (pl *Planner[P, J]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
+	reason := pl.takeBackReason(it, now, takenBack)
 	if reason != "" {
-		for _, c := range b.holders[it.inst.Pool] {
-			back[c]++
+		for _, c := range pl.customersByPool[it.inst.Pool] {
+			takenBack[c]++
 		}
 		return StepReturn, reason
 	}
-	if !it.seen.Drained {
+	if !it.observation.Drained {
 		return "", ""
 	}
 	return StepHandOver, "every entry process of zone " + string(it.inst.Zone) + " confirmed the release"
 }
 
-func (b *Planner[P, J]) takeBack(it *item, now clock.Millis, back map[model.Customer]int) string {
-	if b.waves[it.wave.decl.Name] == nil {
+// takeBackReason returns the reason why a release must be taken back; empty if
+// it may continue.
+func (pl *Planner[P, J]) takeBackReason(it *item, now clock.Millis, takenBack map[model.Customer]int) string {
+	if pl.waves[it.wave.decl.Name] == nil {
 		return "the declaration was cancelled"
 	}
-	if it.wave.stop != "" {
-		return "the wave stopped: " + it.wave.stop
+	if it.wave.stopReason != "" {
+		return "the wave stopped: " + it.wave.stopReason
 	}
-	for _, c := range b.holders[it.inst.Pool] {
-		a := b.accounts[c]
-		if n := a.count - back[c]; n > a.contract.MaxUnavailable {
-			return fmt.Sprintf("%d instances of %s are out of service; the contract allows %d", n, c, a.contract.MaxUnavailable)
+	for _, c := range pl.customersByPool[it.inst.Pool] {
+		cs := pl.customers[c]
+		if n := cs.total - takenBack[c]; n > cs.contract.MaxUnavailable {
+			return fmt.Sprintf("%d instances of %s are out of service; the contract allows %d", n, c, cs.contract.MaxUnavailable)
 		}
-		if a.lostElsewhere(a.domainOf(it.inst)) {
-			return fmt.Sprintf("%s lost an instance in another %s", c, a.contract.Covers)
+		if cs.lostInOtherDomain(cs.domainOf(it.inst)) {
+			return fmt.Sprintf("%s lost an instance in another %s", c, cs.contract.Covers)
 		}
-		used := a.used(now, b.set.MaintenanceMillis, b.outages) - clock.Millis(back[c])*b.set.MaintenanceMillis
-		if a.contract.WindowMillis > 0 && used > a.contract.BudgetMillis {
-			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, a.contract.BudgetMillis)
+		used := cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages) - clock.Millis(takenBack[c])*pl.settings.MaintenanceMillis
+		if cs.contract.WindowMillis > 0 && used > cs.contract.BudgetMillis {
+			return fmt.Sprintf("%s would spend %d ms of its %d ms window budget", c, used, cs.contract.BudgetMillis)
 		}
 	}
 	return ""
 }
 
-func (b *Planner[P, J]) outages(p model.Pool) []Outage { return b.closed[p] }
+func (pl *Planner[P, J]) outages(p model.Pool) []Outage { return pl.finishedOutages[p] }
 
-// passReady starts due work in the pools where something changed. Pools come
-// in the order of their earliest deadline.
-func (b *Planner[P, J]) passReady(now clock.Millis, plan *Plan) {
-	pools := sortedKeys(b.dirty)
-	clear(b.dirty)
-	first := map[model.Pool]clock.Millis{}
+// planReleases adds releases of due instances in the pools that changed. Pools
+// are processed in the order of their earliest deadline.
+func (pl *Planner[P, J]) planReleases(now clock.Millis, plan *Plan) {
+	pools := sortedKeys(pl.changedPools)
+	clear(pl.changedPools)
+	earliest := map[model.Pool]clock.Millis{}
 	pools = slices.DeleteFunc(pools, func(p model.Pool) bool {
-		delete(b.waits, p)
-		y := b.ready[p]
-		if y == nil || len(y.racks) == 0 {
+		delete(pl.waits, p)
+		q := pl.dueByPool[p]
+		if q == nil || len(q.racks) == 0 {
 			return true
 		}
-		first[p] = y.first().deadline
+		earliest[p] = q.first().deadline
 		return false
 	})
-	slices.SortStableFunc(pools, func(x, y model.Pool) int { return cmp.Compare(first[x], first[y]) })
+	slices.SortStableFunc(pools, func(x, y model.Pool) int { return cmp.Compare(earliest[x], earliest[y]) })
 	taken := map[*item]bool{}
-	var order []*item
+	var released []*item
 	for _, p := range pools {
 		for {
-			it, wait := b.pick(p, now, taken)
+			it, wait := pl.nextRelease(p, now, taken)
 			if it == nil {
-				b.hold(p, wait)
+				pl.recordWait(p, wait)
 				break
 			}
 			taken[it] = true
-			order = append(order, it)
+			released = append(released, it)
 			plan.Steps = append(plan.Steps, Step{
-				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: b.why(it),
+				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: pl.releaseReason(it),
 			})
-			b.reserve(it, 1)
+			pl.reserve(it, 1)
 		}
 	}
-	// The reservations held only for the limits of this pass: what is carried
-	// out comes back as a change of the instance's phase.
-	for _, it := range order {
-		b.reserve(it, -1)
-		b.dirty[it.inst.Pool] = true
+	// The tentative counts apply to this pass only: a release that is carried
+	// out is counted when the instance's phase changes.
+	for _, it := range released {
+		pl.reserve(it, -1)
+		pl.changedPools[it.inst.Pool] = true
 	}
 }
 
-func (b *Planner[P, J]) hold(p model.Pool, w *Wait) {
+// recordWait records why due instances of the pool wait, and sets a timer for the
+// time at which to evaluate the pool again. It does nothing if w is nil.
+func (pl *Planner[P, J]) recordWait(p model.Pool, w *Wait) {
 	if w == nil {
 		return
 	}
-	b.waits[p] = *w
+	pl.waits[p] = *w
 	if w.Until > 0 {
-		b.wakeAt("pool "+string(p), due{at: w.Until, pool: string(p)})
+		pl.setTimer("pool "+string(p), timer{at: w.Until, pool: string(p)})
 	}
 }
 
-// reserve adds or takes back a release in the counts of the current pass.
-func (b *Planner[P, J]) reserve(it *item, n int) {
-	it.wave.tentative += n
-	for _, c := range b.holders[it.inst.Pool] {
-		a := b.accounts[c]
-		a.shift(a.domainOf(it.inst), causeMaintenance, n)
-		a.tentative += n
+// reserve adds n tentative releases of the item, 1 or -1, to the counts of its
+// wave and customers.
+func (pl *Planner[P, J]) reserve(it *item, n int) {
+	it.wave.tentativeReleases += n
+	for _, c := range pl.customersByPool[it.inst.Pool] {
+		cs := pl.customers[c]
+		cs.adjust(cs.domainOf(it.inst), causeMaintenance, n)
+		cs.tentativeReleases += n
 	}
 }
 
-func (b *Planner[P, J]) why(it *item) string {
+func (pl *Planner[P, J]) releaseReason(it *item) string {
 	w := it.wave
-	if w.observed == 0 {
+	if w.observedCount == 0 {
 		return "canary of " + w.decl.Name
 	}
 	return fmt.Sprintf("%s, due at %d; %d of its instances are left", w.decl.Name, it.deadline, sum(w.byPool))
--- /dev/null
+++ b/core/state/maint/planner.go
@@ -0,0 +1,308 @@
+package maint
+
+import (
+	"maps"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/heap"
+	"camphorridge/core/state/model"
+)
+
+// Planner indexes the state of a fleet and plans its maintenance. It is not
+// safe for concurrent use: a single goroutine owns it.
+type Planner[P Pacer, J StopPolicy] struct {
+	pacer      P
+	stopPolicy J
+	settings   Settings
+	items      map[model.InstanceID]*item
+	// itemsByPool groups items by the pool of the instance.
+	itemsByPool map[model.Pool]map[model.InstanceID]*item
+	customers   map[model.Customer]*customerState
+	// customersByPool lists, in ascending order, the customers whose limits an
+	// outage in the pool counts against.
+	customersByPool map[model.Pool][]model.Customer
+	waves           map[string]*wave
+	// waveNames lists the names of the waves in ascending order.
+	waveNames []string
+	// dueByPool holds the serving instances that are due for maintenance.
+	dueByPool map[model.Pool]*dueQueue
+	// inProgress holds the instances whose maintenance has started.
+	inProgress map[model.InstanceID]*item
+	// changed holds the instances that changed since the last pass.
+	changed map[model.InstanceID]bool
+	// changedPools holds the pools in which due maintenance may have become
+	// able to start.
+	changedPools map[model.Pool]bool
+	// wavesToCheck holds the waves whose deadlines the next pass checks.
+	wavesToCheck map[string]bool
+	waits        map[model.Pool]Wait
+	// finishedOutages holds the finished outages by pool, in the order of the
+	// SetOutage calls.
+	finishedOutages map[model.Pool][]Outage
+	// openOutages holds the start time of each outage that has not ended.
+	openOutages map[model.InstanceID]clock.Millis
+	timers      heap.Heap[timer]
+	// timerByKey holds the earliest time in timers for each pool and wave.
+	timerByKey map[string]clock.Millis
+	// prunedAt is the time at which old outages were last dropped.
+	prunedAt clock.Millis
+}
+
+// item is an instance together with its current contribution to the counts of
+// its waves and customers.
+type item struct {
+	inst        model.Instance
+	observation Observation
+	// counted is set while the fields below are included in the counts.
+	counted     bool
+	unavailable bool
+	// wave is the pending wave with the earliest deadline; nil for none.
+	wave     *wave
+	deadline clock.Millis
+	// pendingIn, maintainedBy, peerIn and observedIn list the waves that count
+	// the instance as pending, touched, peer and observed.
+	pendingIn    []*wave
+	maintainedBy []*wave
+	peerIn       []*wave
+	observedIn   []*wave
+	tally        Tally
+	// timerAt is the earliest time in timers for this item; 0 for none.
+	timerAt clock.Millis
+}
+
+// NewPlanner returns a planner without instances.
+func NewPlanner[P Pacer, J StopPolicy](pacer P, stopPolicy J, set Settings) *Planner[P, J] {
+	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
+	set.PressureRetryMillis = max(set.PressureRetryMillis, 1)
+	pl := &Planner[P, J]{
+		pacer: pacer, stopPolicy: stopPolicy, settings: set,
+		items:           map[model.InstanceID]*item{},
+		itemsByPool:     map[model.Pool]map[model.InstanceID]*item{},
+		customers:       map[model.Customer]*customerState{},
+		customersByPool: map[model.Pool][]model.Customer{},
+		waves:           map[string]*wave{},
+		dueByPool:       map[model.Pool]*dueQueue{},
+		inProgress:      map[model.InstanceID]*item{},
+		changed:         map[model.InstanceID]bool{},
+		changedPools:    map[model.Pool]bool{},
+		wavesToCheck:    map[string]bool{},
+		waits:           map[model.Pool]Wait{},
+		finishedOutages: map[model.Pool][]Outage{},
+		openOutages:     map[model.InstanceID]clock.Millis{},
+		timerByKey:      map[string]clock.Millis{},
+	}
+	if set.PeriodMillis > 0 {
+		pl.SetDeclaration(model.Maintenance{Name: Periodic, DeclaredAt: set.PeriodicStart})
+	}
+	return pl
+}
+
+// PlanOnce loads a new planner with the whole state and returns the plan of its
+// first pass.
+func PlanOnce[P Pacer, J StopPolicy](pacer P, stopPolicy J, set Settings, in Input, now clock.Millis) Plan {
+	pl := NewPlanner(pacer, stopPolicy, set)
+	pl.Load(in)
+	return pl.Pass(now)
+}
+
+// Load adds a whole state to the planner.
+func (pl *Planner[P, J]) Load(in Input) {
+	for _, c := range in.Contracts {
+		pl.SetContract(c)
+	}
+	for _, m := range in.Declarations {
+		pl.SetDeclaration(m)
+	}
+	for _, i := range in.Instances {
+		pl.SetInstance(i)
+	}
+	for id, s := range in.Observations {
+		pl.SetObservation(id, s)
+	}
+	for _, o := range in.Outages {
+		pl.SetOutage(o)
+	}
+	for c, p := range in.Pressure {
+		pl.SetPressure(c, p)
+	}
+}
+
+// SetInstance adds an instance or replaces its state.
+func (pl *Planner[P, J]) SetInstance(i model.Instance) {
+	it := pl.ensureItem(i.ID)
+	pl.uncount(it)
+	delete(pl.itemsByPool[it.inst.Pool], i.ID)
+	it.inst = i
+	if pl.itemsByPool[i.Pool] == nil {
+		pl.itemsByPool[i.Pool] = map[model.InstanceID]*item{}
+	}
+	pl.itemsByPool[i.Pool][i.ID] = it
+}
+
+// SetObservation replaces the observation of an instance.
+func (pl *Planner[P, J]) SetObservation(id model.InstanceID, s Observation) {
+	it := pl.ensureItem(id)
+	calls, failures := s.Calls-it.observation.Calls, s.Failures-it.observation.Failures
+	same := it.observation
+	same.Calls, same.Failures = s.Calls, s.Failures
+	if !it.counted || same != s {
+		pl.uncount(it)
+		it.observation = s
+		return
+	}
+	// Fast path: request counts change most often and affect nothing but the
+	// tallies.
+	it.observation = s
+	d := Tally{Calls: calls, Failures: failures}
+	it.tally.add(d, 1)
+	for _, w := range it.maintainedBy {
+		w.touched.add(d, 1)
+	}
+	for _, w := range it.peerIn {
+		w.peers.add(d, 1)
+	}
+}
+
+func (pl *Planner[P, J]) ensureItem(id model.InstanceID) *item {
+	it := pl.items[id]
+	if it == nil {
+		it = &item{inst: model.Instance{ID: id, Phase: model.PhaseRetired}}
+		pl.items[id] = it
+	}
+	return it
+}
+
+// SetContract adds the contract of a customer or replaces it.
+func (pl *Planner[P, J]) SetContract(c model.Contract) {
+	pressure := 0
+	if old := pl.customers[c.Customer]; old != nil {
+		pressure = old.pressure
+	}
+	pl.RemoveContract(c.Customer)
+	cs := newCustomerState(c)
+	cs.pressure = pressure
+	for _, p := range cs.pools {
+		pl.uncountPool(p)
+	}
+	pl.customers[c.Customer] = cs
+	for _, p := range cs.pools {
+		pl.customersByPool[p] = append(pl.customersByPool[p], c.Customer)
+		slices.Sort(pl.customersByPool[p])
+	}
+	pl.checkAllWaves()
+}
+
+// RemoveContract removes the contract of a customer, if there is one.
+func (pl *Planner[P, J]) RemoveContract(name model.Customer) {
+	cs := pl.customers[name]
+	if cs == nil {
+		return
+	}
+	for _, p := range cs.pools {
+		pl.uncountPool(p)
+	}
+	delete(pl.customers, name)
+	for _, p := range cs.pools {
+		pl.customersByPool[p] = slices.DeleteFunc(pl.customersByPool[p], func(c model.Customer) bool { return c == name })
+	}
+	pl.checkAllWaves()
+}
+
+// uncountPool removes the instances of the pool from all counts until the next pass.
+func (pl *Planner[P, J]) uncountPool(p model.Pool) {
+	pl.changedPools[p] = true
+	for _, it := range pl.itemsByPool[p] {
+		pl.uncount(it)
+	}
+}
+
+func (pl *Planner[P, J]) checkAllWaves() {
+	for _, n := range pl.waveNames {
+		pl.wavesToCheck[n] = true
+	}
+}
+
+// SetDeclaration adds a maintenance declaration or replaces the one of the same
+// name.
+func (pl *Planner[P, J]) SetDeclaration(m model.Maintenance) {
+	pl.RemoveDeclaration(m.Name)
+	pl.waves[m.Name] = newWave(m)
+	pl.waveNames = append(pl.waveNames, m.Name)
+	slices.Sort(pl.waveNames)
+	pl.wavesToCheck[m.Name] = true
+	for _, it := range pl.items {
+		pl.uncount(it)
+	}
+}
+
+// RemoveDeclaration removes a maintenance declaration, if there is one.
+func (pl *Planner[P, J]) RemoveDeclaration(name string) {
+	if pl.waves[name] == nil {
+		return
+	}
+	for _, it := range pl.items {
+		pl.uncount(it)
+	}
+	delete(pl.waves, name)
+	delete(pl.wavesToCheck, name)
+	pl.waveNames = slices.DeleteFunc(pl.waveNames, func(n string) bool { return n == name })
+}
+
+// SetOutage adds an outage. An outage with an end replaces the open outage of
+// the instance with the same start.
+func (pl *Planner[P, J]) SetOutage(o Outage) {
+	if it := pl.items[o.Instance]; it != nil {
+		pl.uncount(it)
+	}
+	if o.To == 0 {
+		pl.openOutages[o.Instance] = o.From
+		return
+	}
+	if pl.openOutages[o.Instance] == o.From {
+		delete(pl.openOutages, o.Instance)
+	}
+	pl.finishedOutages[o.Pool] = append(pl.finishedOutages[o.Pool], o)
+	for _, c := range pl.customersByPool[o.Pool] {
+		pl.customers[c].usedAt = -1
+		pl.markPools(pl.customers[c])
+	}
+}
+
+// SetPressure sets the permille of a customer's requests that were refused or
+// late.
+func (pl *Planner[P, J]) SetPressure(c model.Customer, permille int) {
+	cs := pl.customers[c]
+	if cs == nil || cs.pressure == permille {
+		return
+	}
+	cs.pressure = permille
+	pl.markPools(cs)
+}
+
+// markPools marks the pools of the customer for evaluation in the next pass.
+func (pl *Planner[P, J]) markPools(cs *customerState) {
+	for _, p := range cs.pools {
+		pl.changedPools[p] = true
+	}
+}
+
+// prune drops the outages that ended before every customer's budget window. It
+// scans all outages, so it runs only once an hour.
+func (pl *Planner[P, J]) prune(now clock.Millis) {
+	if now < pl.prunedAt+clock.Hour {
+		return
+	}
+	pl.prunedAt = now
+	for p, list := range pl.finishedOutages {
+		longest := clock.Millis(0)
+		for _, c := range pl.customersByPool[p] {
+			longest = max(longest, pl.customers[c].contract.WindowMillis)
+		}
+		pl.finishedOutages[p] = slices.DeleteFunc(list, func(o Outage) bool { return o.To <= now-longest })
+	}
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -23,7 +23,7 @@
 	return ReceivedAnnouncement{Announcement: a, Direct: true}
 }
 
-// Guards against announcements that contradict what is known being taken in.
+// Guards against accepting announcements that contradict the recorded state.
 func TestAcceptRules(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against a stale forwarded announcement that revives a process which
-// is leaving, or one that was replaced.
+// Guards against a stale forwarded announcement that revives a process that is
+// leaving or was replaced.
 func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
 	r := New(Settings{Zone: "z"}, 0)
 	a := announcement("a", 1)
@@ -80,7 +80,7 @@
 	assert.NilError(t, err)
 	_, err = r.Accept(3, direct(a))
 	assert.ErrorContains(t, err, "incarnation")
-	// The address of a process that left can be used by another instance.
+	// Another instance can use the address of a process that is leaving.
 	a.Incarnation = 2
 	_, err = r.Accept(4, direct(a))
 	assert.NilError(t, err)
@@ -90,8 +90,8 @@
 	assert.NilError(t, err)
 }
 
-// Guards against leases that outlast their time, end early, move back, or whose
-// end is reported twice, with announcements that come late and out of order.
+// Guards against leases that end too late or too early, move back, or are reported
+// twice as expired, while announcements arrive late and out of order.
 func TestLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const lease = 900
@@ -99,7 +99,7 @@
 		now := clock.Millis(0)
 		expires := map[model.InstanceID]clock.Millis{}
 		incarnation := map[model.InstanceID]uint64{}
-		lapsed := map[model.InstanceID]bool{}
+		expired := map[model.InstanceID]bool{}
 		t.Repeat(map[string]func(*rapid.T){
 			"announce": func(t *rapid.T) {
 				a := announcement(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
@@ -114,31 +114,31 @@
 				if a.Incarnation == incarnation[a.Instance] {
 					end = max(end, expires[a.Instance])
 				}
-				expires[a.Instance], incarnation[a.Instance], lapsed[a.Instance] = end, a.Incarnation, false
+				expires[a.Instance], incarnation[a.Instance], expired[a.Instance] = end, a.Incarnation, false
 			},
 			"time": func(t *rapid.T) {
 				now += clock.Millis(rapid.IntRange(1, 800).Draw(t, "ms"))
 				for _, gone := range r.Expire(now, nil) {
 					id := gone.Announcement.Instance
-					assert.Assert(t, !lapsed[id], "the end was reported twice")
+					assert.Assert(t, !expired[id], "the end was reported twice")
 					assert.Assert(t, expires[id] <= now)
-					lapsed[id] = true
+					expired[id] = true
 				}
 			},
 			"": func(t *rapid.T) {
 				r.Each(func(rec *Record) {
 					id := rec.Announcement.Instance
 					assert.Equal(t, rec.ExpiresAt, expires[id])
-					assert.Equal(t, rec.Expired, lapsed[id])
+					assert.Equal(t, rec.Expired, expired[id])
 				})
 			},
 		})
 	})
 }
 
-// Guards against a process that was itself stopped declaring all others dead,
-// and against one that keeps the dead for ever because of it.
-func TestPausedObserverGrantsGrace(t *testing.T) {
+// Guards against a process that expires all leases after it was itself paused, and
+// against one whose pauses keep the leases of dead instances valid.
+func TestPauseExtendsLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := New(Settings{Zone: "z"}, 0)
 		_, err := r.Accept(0, direct(announcement("dead", 1)))
@@ -150,42 +150,42 @@
 		}
 		_, err = r.Accept(now, direct(announcement("a", 1)))
 		assert.NilError(t, err)
-		woke := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
-		for _, l := range r.Expire(woke, nil) {
-			assert.Assert(t, l.Announcement.Instance != "a", "a lapsed at waking up")
+		resumed := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
+		for _, l := range r.Expire(resumed, nil) {
+			assert.Assert(t, l.Announcement.Instance != "a", "the lease of a expired at the end of the pause")
 		}
 		a, _ := r.Get("a")
-		assert.Equal(t, a.ExpiresAt, woke+DefaultLease)
+		assert.Equal(t, a.ExpiresAt, resumed+DefaultLease)
 		dead, known := r.Get("dead")
-		assert.Assert(t, !known || dead.Expired, "the pause revived what was gone")
+		assert.Assert(t, !known || dead.Expired, "the pause extended a lease that had expired")
 		gone := 0
 		for step := range clock.Millis(4) {
-			gone += len(r.Expire(woke+step*1000, nil))
+			gone += len(r.Expire(resumed+step*1000, nil))
 		}
 		assert.Equal(t, gone, 1)
 		assert.Equal(t, r.Pauses, 1)
 	})
 }
 
-// Guards against neighbours that miss news, get old ones again, or get echoes
-// of what they sent themselves.
-func TestNewsForNeighbours(t *testing.T) {
+// Guards against neighbours that miss updates, get old ones again, or get back the
+// ones that they sent.
+func TestUpdatesForNeighbours(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(Settings{Zone: "z"}, 0), New(Settings{Zone: "z"}, 0)
 		seq, now := uint64(0), clock.Millis(0)
 		for range rapid.IntRange(1, 20).Draw(t, "rounds") {
 			now += 10
-			heard := map[model.InstanceID]bool{}
+			announced := map[model.InstanceID]bool{}
 			for range rapid.IntRange(0, 5).Draw(t, "announcements") {
 				an := announcement(fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "instance")), 1)
 				_, err := a.Accept(now, direct(an))
 				assert.NilError(t, err)
-				heard[an.Instance] = true
+				announced[an.Instance] = true
 			}
-			news, latest := a.UpdatesSince(now+5, seq)
-			assert.Equal(t, len(news), len(heard))
-			for _, h := range news {
-				assert.Assert(t, heard[h.Announcement.Instance] && !h.Direct && h.Age == 5)
+			updates, latest := a.UpdatesSince(now+5, seq)
+			assert.Equal(t, len(updates), len(announced))
+			for _, h := range updates {
+				assert.Assert(t, announced[h.Announcement.Instance] && !h.Direct && h.Age == 5)
 				_, err := b.Accept(now+5, h)
 				assert.NilError(t, err)
 			}
@@ -196,7 +196,7 @@
 	})
 }
 
-// Guards against records that pile up as instances are replaced.
+// Guards against records that accumulate as instances are replaced.
 func TestOldRecordsAreForgotten(t *testing.T) {
 	r := New(Settings{Zone: "z", MaxTickGap: clock.Day}, 0)
 	for i := range 50 {
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -6,8 +6,8 @@
 	"camphorridge/core/state/model"
 )
 
-// SetLent sets the number of own slots of an upstream that are lent, and
-// returns the number before.
+// SetLent sets the number of this process's slots of an upstream that are lent
+// to other processes, and returns the previous number.
 func (r *Router[P]) SetLent(id model.InstanceID, lent int) (before int) {
 	u := r.upstreams[id]
 	if u == nil {
@@ -15,37 +15,40 @@
 	}
 	before, u.Lent = u.Lent, lent
 	r.unblock(u)
-	r.forget(u)
+	r.dropUnused(u)
 	return before
 }
 
-// PoolUpstreamSlots appends the upstreams of a pool that are not ejected, as a lender
-// sees them.
+// PoolUpstreamSlots appends to buf the slots of each upstream of the pool that is
+// not ejected, for the lender. waiting is the number of queued requests of the
+// pool.
 func (r *Router[P]) PoolUpstreamSlots(now clock.Millis, p model.Pool, waiting int, buf []lend.UpstreamSlots) []lend.UpstreamSlots {
-	g := r.pools[p]
-	if g == nil {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
 		return buf
 	}
-	for i := range g.members {
-		// Each call starts with another upstream, so that loans spread.
-		u := g.members[(i+int(g.turn%uint64(len(g.members))))%len(g.members)]
+	for i := range pu.members {
+		// The first upstream rotates with the choices of the pool, so that loans
+		// spread over the upstreams.
+		u := pu.members[(i+int(pu.choices%uint64(len(pu.members))))%len(pu.members)]
 		if !u.Ejected(now) {
-			buf = append(buf, u.stock(waiting))
+			buf = append(buf, u.slots(waiting))
 		}
 	}
 	return buf
 }
 
-// UpstreamSlots returns a routable upstream as a lender sees it.
+// UpstreamSlots returns the slots of an upstream for the lender; false if the
+// upstream is not routable.
 func (r *Router[P]) UpstreamSlots(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
 	u := r.upstreams[id]
 	if u == nil || u.Pool == "" {
 		return lend.UpstreamSlots{}, false
 	}
-	return u.stock(waiting(u.Pool)), true
+	return u.slots(waiting(u.Pool)), true
 }
 
-func (u *Upstream) stock(waiting int) lend.UpstreamSlots {
+func (u *Upstream) slots(waiting int) lend.UpstreamSlots {
 	return lend.UpstreamSlots{
 		Loan: lend.Loan{
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
@@ -56,7 +59,8 @@
 	}
 }
 
-// RotatePeaks begins a new time span for the peaks of all upstreams.
+// RotatePeaks starts a new period for the peaks of all upstreams: Peak becomes
+// PreviousPeak.
 func (r *Router[P]) RotatePeaks() {
 	for _, u := range r.upstreams {
 		u.PreviousPeak, u.Peak = u.Peak, u.Running
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -32,8 +32,8 @@
 
 const start = 10 * clock.Second
 
-// Guards against entry processes that together use more slots or connections
-// than an upstream has.
+// Guards against entry processes that together use more slots or connections than
+// an upstream has.
 func TestSharesOfSlotsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 9).Draw(t, "count")
@@ -60,8 +60,8 @@
 	})
 }
 
-// Guards against new work on an instance that is leaving, lapsed, released, in
-// another zone or in another pool than it says.
+// Guards against new requests on an instance that is leaving, expired, released, or
+// whose zone or pool differs between the table and its announcement.
 func TestOnlyAgreedUpstreamsAreRoutable(t *testing.T) {
 	for name, change := range map[string]func(i *model.Instance, a *model.Announcement, live *bool){
 		"leaving":        func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
@@ -92,39 +92,39 @@
 	}
 }
 
-// Guards against a release that is confirmed while a request still runs on the
-// instance, and against one that is never confirmed.
+// Guards against confirming a release while a request still runs on the instance,
+// and against never confirming it.
 func TestDrainedFollowsRequestsInFlight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
-		type flight struct {
-			held Reservation
-			// until is the highest version that may be confirmed while the
+		type request struct {
+			reservation Reservation
+			// maxDrained is the highest version that may be confirmed while the
 			// request runs.
-			until model.Version
+			maxDrained model.Version
 		}
-		var flights []*flight
+		var requests []*request
 		phase := map[model.InstanceID]model.Phase{}
-		v, again := model.Version(1), false
+		v, routableEarly := model.Version(1), false
 		r.Version = v
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(*rapid.T) {
 				if h, ok := r.Reserve(start, "p", ""); ok {
 					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
-					flights = append(flights, &flight{held: h, until: 1 << 40})
+					requests = append(requests, &request{reservation: h, maxDrained: 1 << 40})
 				}
 			},
 			"end": func(t *rapid.T) {
-				if len(flights) == 0 {
+				if len(requests) == 0 {
 					t.Skip()
 				}
-				k := rapid.IntRange(0, len(flights)-1).Draw(t, "which")
-				r.End(start, flights[k].held, OutcomeOK)
-				flights = append(flights[:k:k], flights[k+1:]...)
+				k := rapid.IntRange(0, len(requests)-1).Draw(t, "which")
+				r.End(start, requests[k].reservation, OutcomeOK)
+				requests = append(requests[:k:k], requests[k+1:]...)
 			},
 			"step": func(t *rapid.T) {
 				id := model.InstanceID(fmt.Sprint("i", rapid.IntRange(0, 2).Draw(t, "instance")))
-				held := v
+				before := v
 				v += model.Version(rapid.IntRange(1, 3).Draw(t, "versions"))
 				i := entryOf(id, v)
 				switch rapid.IntRange(0, 3).Draw(t, "phase") {
@@ -133,41 +133,41 @@
 				case 1:
 					i.Phase = model.PhaseMaintenance
 				case 2:
-					r.RemoveInstance(start, id, held)
+					r.RemoveInstance(start, id, before)
 					i.Phase = model.PhaseRetired
 				}
 				if i.Phase != model.PhaseServing && phase[id] == model.PhaseServing {
-					limit := held
+					limit := before
 					if i.Phase == model.PhaseReleasing {
 						limit = v - 1
 					}
-					for _, f := range flights {
-						if f.held.Upstream.Instance == id {
-							f.until = min(f.until, limit)
+					for _, req := range requests {
+						if req.reservation.Upstream.Instance == id {
+							req.maxDrained = min(req.maxDrained, limit)
 						}
 					}
 				}
 				if i.Phase == model.PhaseServing && phase[id] != model.PhaseServing {
-					// Control waits for the confirmation first; without it the
-					// result may be lower than needed.
-					again = true
+					// The control group would wait for the confirmation first. Here
+					// the result may be lower than necessary.
+					routableEarly = true
 				}
 				phase[id] = i.Phase
 				if i.Phase != model.PhaseRetired {
-					r.SetInstance(start, i, held)
+					r.SetInstance(start, i, before)
 				}
 				r.Version = v
 			},
 			"": func(*rapid.T) {
 				want, old := v, 0
-				for _, f := range flights {
-					want = min(want, f.until)
-					if f.until <= v {
+				for _, req := range requests {
+					want = min(want, req.maxDrained)
+					if req.maxDrained <= v {
 						old++
 					}
 				}
 				assert.Assert(t, r.DrainedVersion() <= want, "%d was confirmed, %d is the most", r.DrainedVersion(), want)
-				if old == 0 || !again {
+				if old == 0 || !routableEarly {
 					assert.Equal(t, r.DrainedVersion(), want)
 				}
 			},
@@ -175,9 +175,9 @@
 	})
 }
 
-// Guards against ejections that empty a pool, and against rooms that are given
-// out twice.
-func TestFloorKeepsThePoolAlive(t *testing.T) {
+// Guards against ejections that leave less than half of a pool's upstreams in
+// service, and against slots that are not released.
+func TestEjectionKeepsHalfOfThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 7).Draw(t, "upstreams")
 		r := pool(LeastLoaded{}, n)
@@ -208,23 +208,24 @@
 			},
 			"time": func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 3000).Draw(t, "ms")) },
 			"": func(t *rapid.T) {
-				in := 0
-				members := r.pools["p"].members
+				inService := 0
+				members := r.upstreamsByPool["p"].members
 				for _, u := range members {
 					assert.Equal(t, u.Running, 0)
 					if !u.Ejected(now) {
-						in++
+						inService++
 					}
 				}
-				assert.Assert(t, in >= (len(members)+1)/2, "%d of %d are in", in, len(members))
+				assert.Assert(t, inService >= (len(members)+1)/2, "%d of %d are in service", inService, len(members))
 				assert.Assert(t, r.Capacity(now, "p") > 0)
 			},
 		})
 	})
 }
 
-// Guards against an upstream that fails everything and, because it is fast at
-// it, attracts the most work; and against ejecting for a fault that all share.
+// Guards against an upstream that fails all requests and attracts the most of them,
+// because failing is fast. Also guards against ejections for a fault that all
+// upstreams share.
 func TestFailingUpstreamIsEjected(t *testing.T) {
 	for _, o := range []Outcome{OutcomeError, OutcomeUnknown, OutcomeTimeout, OutcomeConnect} {
 		r := pool(LeastLoaded{}, 4)
@@ -241,7 +242,7 @@
 		}
 		assert.Assert(t, failed <= 4, "%d requests went to the failing upstream", failed)
 		assert.Equal(t, r.Capacity(start, "p"), 24)
-		// It comes back slowly.
+		// After the ejection the upstream starts slowly.
 		back := start + ejectBase
 		assert.Equal(t, len(r.Restored(start, nil)), 0)
 		assert.Equal(t, len(r.Restored(back, nil)), 1)
@@ -265,8 +266,8 @@
 	}
 }
 
-// Guards against the outcome of a request to an earlier process of an upstream
-// being counted against the present one.
+// Guards against counting the outcome of a request to an earlier process of an
+// upstream against the present process.
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	h, _ := r.Reserve(start, "p", "i0")
@@ -276,8 +277,8 @@
 	assert.Equal(t, h.Upstream.Running, 0)
 }
 
-// Guards against a newcomer that gets its whole share at once, and against a
-// process that has just started holding everybody back.
+// Guards against a new upstream that gets its full share at once, and against a
+// slow start of all upstreams when the router itself has just started.
 func TestSlowStart(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	assert.Equal(t, r.Capacity(0, "p"), 16)
@@ -288,7 +289,7 @@
 	assert.Equal(t, r.Capacity(start+SlowStart, "p"), 24)
 }
 
-// Guards against a choice that ignores load; the baseline does.
+// Guards against a choice that ignores the load, as the round-robin baseline does.
 func TestLeastLoadedEvensOut(t *testing.T) {
 	uneven := func(pick func() (Reservation, bool), end func(Reservation)) int {
 		// Requests on i0 never end; all others end at once.
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -7,60 +7,63 @@
 	"camphorridge/core/state/model"
 )
 
-// SlowStart is the time over which a newcomer reaches its whole share. A
-// process that has just started has cold caches, and the share of one entry
-// process is only a few slots, so the ramp is short.
+// SlowStart is the time over which the capacity of a new upstream grows to its
+// full share. A process that has just started has cold caches. The share of one
+// entry process is only a few slots, so a short ramp is enough.
 const SlowStart = 3 * clock.Second
 
-// Settings says which process routes.
+// Settings describe the entry process that routes.
 type Settings struct {
 	Zone model.Zone
-	// Rank and Count are the position among the entry processes of the zone
-	// and their number.
+	// Rank is the position of the process among the entry processes of the zone,
+	// from 0, and Count the number of these processes.
 	Rank, Count int
-	// Lending sets a part of each share aside for loans; ReservePercent of the
-	// slots are never lent.
+	// Lending reserves a part of each share for loans. ReservePercent of the slots
+	// are never lent.
 	Lending        bool
 	ReservePercent int
 }
 
-// Router chooses upstreams. It is not safe for use by several goroutines.
+// Router chooses upstreams and counts their requests. It is not safe for
+// concurrent use.
 type Router[P Policy] struct {
-	cfg       Settings
-	policy    P
-	upstreams map[model.InstanceID]*Upstream
-	pools     map[model.Pool]*group
-	// blocked holds the upstreams with requests of earlier generations.
+	cfg             Settings
+	policy          P
+	upstreams       map[model.InstanceID]*Upstream
+	upstreamsByPool map[model.Pool]*poolUpstreams
+	// blocked holds the upstreams with a release that cannot be confirmed yet.
 	blocked map[model.InstanceID]*Upstream
 	// Version is the version of the table in force.
 	Version model.Version
-	// LoansUncertain says that the lendable slots may be in use under loans of an
-	// earlier run of this process.
+	// LoansUncertain is set while the lendable slots may be in use under loans
+	// that an earlier run of this process granted.
 	LoansUncertain bool
 	candidates     []Candidate
-	// ejected lists the upstreams whose return was not reported yet.
-	ejected []*Upstream
+	// ejectionsToReport lists the upstreams whose end of ejection Restored has not
+	// reported yet.
+	ejectionsToReport []*Upstream
 }
 
-// group is the routable upstreams of one pool.
-type group struct {
+// poolUpstreams holds the routable upstreams of one pool, ejected ones included.
+type poolUpstreams struct {
 	members []*Upstream
-	turn    uint64
+	choices uint64
 }
 
 // New returns a router without upstreams.
 func New[P Policy](cfg Settings, policy P) *Router[P] {
 	return &Router[P]{
-		cfg:       cfg,
-		policy:    policy,
-		upstreams: map[model.InstanceID]*Upstream{},
-		pools:     map[model.Pool]*group{},
-		blocked:   map[model.InstanceID]*Upstream{},
+		cfg:             cfg,
+		policy:          policy,
+		upstreams:       map[model.InstanceID]*Upstream{},
+		upstreamsByPool: map[model.Pool]*poolUpstreams{},
+		blocked:         map[model.InstanceID]*Upstream{},
 	}
 }
 
-// SetInstance puts the table entry of an instance of any zone in force. held is
-// the version of the table before the change that brought it.
+// SetInstance adds the table entry of an instance or replaces it. Instances of
+// other zones are ignored, unless an entry or announcement of the instance is
+// known already. held is the version of the table before the change.
 func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, held model.Version) {
 	u := r.upstreams[i.ID]
 	if i.Zone != r.cfg.Zone {
@@ -69,8 +72,8 @@
 		}
 	}
 	u = r.upstream(i.ID)
-	if u.known && u.entry.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.entry.Pool) {
-		// An entry that passed the releasing phase unseen was released at an
+	if u.inTable && u.instance.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.instance.Pool) {
+		// If the releasing phase was skipped over, the release took place at an
 		// unknown version after held.
 		released := held + 1
 		if i.Phase == model.PhaseReleasing {
@@ -78,34 +81,34 @@
 		}
 		r.release(u, released)
 	}
-	u.entry, u.known = i, true
-	r.refresh(now, u)
+	u.instance, u.inTable = i, true
+	r.update(now, u)
 }
 
-// RemoveInstance forgets the table entry of an instance. held is the version of
-// the table before the change that removed it.
+// RemoveInstance removes the table entry of an instance. held is the version of
+// the table before the change.
 func (r *Router[P]) RemoveInstance(now clock.Millis, id model.InstanceID, held model.Version) {
 	u := r.upstreams[id]
 	if u == nil {
 		return
 	}
-	if u.known && u.entry.Phase == model.PhaseServing {
+	if u.inTable && u.instance.Phase == model.PhaseServing {
 		r.release(u, held+1)
 	}
-	u.entry, u.known = model.Instance{}, false
-	r.refresh(now, u)
+	u.instance, u.inTable = model.Instance{}, false
+	r.update(now, u)
 }
 
-// SetAnnouncement puts an announcement in force; live is false once its lease
-// lapsed.
+// SetAnnouncement sets the announcement of an instance; live is false once its
+// lease has expired.
 func (r *Router[P]) SetAnnouncement(now clock.Millis, a model.Announcement, live bool) {
 	u := r.upstream(a.Instance)
-	if a.Incarnation != u.member.Incarnation {
-		// A new process starts with a clean record and a slow start.
+	if a.Incarnation != u.announcement.Incarnation {
+		// A new process starts with a cleared failure score and a slow start.
 		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
 	}
-	u.member, u.live = a, live
-	r.refresh(now, u)
+	u.announcement, u.leaseHeld = a, live
+	r.update(now, u)
 }
 
 func (r *Router[P]) upstream(id model.InstanceID) *Upstream {
@@ -117,7 +120,8 @@
 	return u
 }
 
-// release starts a new generation: the requests in flight hold up the release.
+// release starts a new generation for a release at version v. The requests in
+// flight and lent slots block its confirmation.
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
 	u.OldRunning = u.Running
@@ -129,138 +133,141 @@
 	}
 }
 
-// refresh derives the routable state of an upstream from its inputs.
-func (r *Router[P]) refresh(now clock.Millis, u *Upstream) {
+// update derives the shares and the pool of an upstream from its table entry and
+// its announcement.
+func (r *Router[P]) update(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
 	if r.cfg.Lending {
 		u.Connections, u.Lendable, u.ConnectionsPerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
 	}
-	u.Address, u.Incarnation, u.HealthPath = u.member.Address, u.member.Incarnation, u.member.HealthPath
-	pool := u.routable(r.cfg.Zone)
+	u.Address, u.Incarnation, u.HealthPath = u.announcement.Address, u.announcement.Incarnation, u.announcement.HealthPath
+	pool := u.routablePool(r.cfg.Zone)
 	if pool != u.Pool {
-		r.leave(now, u)
+		r.removeFromPool(now, u)
 		u.Pool = pool
 		if pool != "" {
 			u.RoutableSince = now
-			g := r.group(pool)
-			g.members = append(g.members, u)
-			g.keepFloor(now)
+			pu := r.poolOf(pool)
+			pu.members = append(pu.members, u)
+			pu.restoreMinimum(now)
 		}
 	}
-	r.forget(u)
+	r.dropUnused(u)
 }
 
-// shares returns this process's part of the slots and connections. Both the
-// table and the announcement bound them; 0 in the table means not known.
+// shares returns this process's share of the slots and connections. Both the
+// table and the announcement limit them; 0 in the table means unknown.
 func (r *Router[P]) shares(u *Upstream) (slots, conns int) {
-	slots, conns = u.member.Slots, u.member.Connections
-	if u.entry.Slots > 0 {
-		slots = min(slots, u.entry.Slots)
+	slots, conns = u.announcement.Slots, u.announcement.Connections
+	if u.instance.Slots > 0 {
+		slots = min(slots, u.instance.Slots)
 	}
-	if u.entry.Connections > 0 {
-		conns = min(conns, u.entry.Connections)
+	if u.instance.Connections > 0 {
+		conns = min(conns, u.instance.Connections)
 	}
 	conns = admit.Share(conns, r.cfg.Rank, r.cfg.Count)
 	return min(admit.Share(slots, r.cfg.Rank, r.cfg.Count), conns), conns
 }
 
-func (r *Router[P]) group(p model.Pool) *group {
-	g := r.pools[p]
-	if g == nil {
-		g = &group{}
-		r.pools[p] = g
+func (r *Router[P]) poolOf(p model.Pool) *poolUpstreams {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
+		pu = &poolUpstreams{}
+		r.upstreamsByPool[p] = pu
 	}
-	return g
+	return pu
 }
 
-func (r *Router[P]) leave(now clock.Millis, u *Upstream) {
-	g := r.pools[u.Pool]
-	if g == nil {
+func (r *Router[P]) removeFromPool(now clock.Millis, u *Upstream) {
+	pu := r.upstreamsByPool[u.Pool]
+	if pu == nil {
 		return
 	}
-	for i, m := range g.members {
+	for i, m := range pu.members {
 		if m == u {
-			g.members = append(g.members[:i], g.members[i+1:]...)
-			g.keepFloor(now)
+			pu.members = append(pu.members[:i], pu.members[i+1:]...)
+			pu.restoreMinimum(now)
 			return
 		}
 	}
 }
 
-// forget drops an upstream that neither table nor roster names and that has
-// nothing in flight.
-func (r *Router[P]) forget(u *Upstream) {
-	if !u.known && !u.live && u.Running == 0 && u.Lent == 0 {
+// dropUnused drops an upstream that is not in the table, holds no lease and has no
+// requests in flight or lent slots.
+func (r *Router[P]) dropUnused(u *Upstream) {
+	if !u.inTable && !u.leaseHeld && u.Running == 0 && u.Lent == 0 {
 		delete(r.upstreams, u.Instance)
 	}
 }
 
-// Reservation is a reserved slot: the upstream with its generation and incarnation at
-// the time of the Pick.
+// Reservation is a reserved slot: the upstream with its generation and incarnation
+// at the time of Reserve.
 type Reservation struct {
 	Upstream    *Upstream
 	Generation  uint32
 	Incarnation uint64
 }
 
-// Reserve reserves a slot of an upstream of the pool; ok is false when none has
-// room. The upstream to avoid is taken only when no other has room.
-func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (h Reservation, ok bool) {
-	g := r.pools[p]
-	if g == nil || len(g.members) == 0 {
+// Reserve reserves a slot of an upstream of the pool; ok is false if none has free
+// capacity. The upstream to avoid is chosen only if no other has free capacity.
+func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (res Reservation, ok bool) {
+	pu := r.upstreamsByPool[p]
+	if pu == nil || len(pu.members) == 0 {
 		return Reservation{}, false
 	}
 	r.candidates = r.candidates[:0]
-	var last *Upstream
-	warm := g.warm(now)
-	for _, u := range g.members {
-		n := r.room(now, u, warm)
+	var chosen *Upstream
+	warm := pu.hasWarmUpstream(now)
+	for _, u := range pu.members {
+		n := r.capacity(now, u, warm)
 		if u.Running >= n {
 			continue
 		}
 		if u.Instance == avoid {
-			last = u
+			chosen = u
 			continue
 		}
 		r.candidates = append(r.candidates, Candidate{Upstream: u, Capacity: n})
 	}
 	if len(r.candidates) > 0 {
-		last = r.candidates[r.policy.Choose(r.candidates, g.turn)].Upstream
-		g.turn++
+		chosen = r.candidates[r.policy.Choose(r.candidates, pu.choices)].Upstream
+		pu.choices++
 	}
-	if last == nil {
+	if chosen == nil {
 		return Reservation{}, false
 	}
-	last.Running++
-	last.Peak = max(last.Peak, last.Running)
-	return Reservation{Upstream: last, Generation: last.Generation, Incarnation: last.Incarnation}, true
+	chosen.Running++
+	chosen.Peak = max(chosen.Peak, chosen.Running)
+	return Reservation{Upstream: chosen, Generation: chosen.Generation, Incarnation: chosen.Incarnation}, true
 }
 
-// Restored appends the upstreams whose ejection has ended since the last call.
+// Restored appends to buf the upstreams whose ejection has ended since the last
+// call.
 func (r *Router[P]) Restored(now clock.Millis, buf []*Upstream) []*Upstream {
-	kept := r.ejected[:0]
-	for _, u := range r.ejected {
+	kept := r.ejectionsToReport[:0]
+	for _, u := range r.ejectionsToReport {
 		if u.Ejected(now) {
 			kept = append(kept, u)
 			continue
 		}
 		buf = append(buf, u)
 	}
-	clear(r.ejected[len(kept):])
-	r.ejected = kept
+	clear(r.ejectionsToReport[len(kept):])
+	r.ejectionsToReport = kept
 	return buf
 }
 
-// CancelReservation gives back a reservation that was not used.
-func (r *Router[P]) CancelReservation(h Reservation) {
-	h.Upstream.Running--
-	r.forget(h.Upstream)
+// CancelReservation releases a reserved slot that was not used.
+func (r *Router[P]) CancelReservation(res Reservation) {
+	res.Upstream.Running--
+	r.dropUnused(res.Upstream)
 }
 
-// warm reports whether some upstream is past its slow start. Without one, as
-// after a start of this process, nobody is held back.
-func (g *group) warm(now clock.Millis) bool {
-	for _, u := range g.members {
+// hasWarmUpstream reports whether an upstream of the pool is in service and past
+// its slow start. If there is none, as after a start of this process, slow start
+// limits no upstream.
+func (pu *poolUpstreams) hasWarmUpstream(now clock.Millis) bool {
+	for _, u := range pu.members {
 		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
 			return true
 		}
@@ -268,8 +275,8 @@
 	return false
 }
 
-// room returns the number of requests an upstream may run now.
-func (r *Router[P]) room(now clock.Millis, u *Upstream, warm bool) int {
+// capacity returns the number of requests that an upstream may run at once now.
+func (r *Router[P]) capacity(now clock.Millis, u *Upstream, warm bool) int {
 	if u.Ejected(now) {
 		return 0
 	}
@@ -286,13 +293,13 @@
 
 // Capacity returns the number of requests that the pool may run at once now.
 func (r *Router[P]) Capacity(now clock.Millis, p model.Pool) int {
-	g := r.pools[p]
-	if g == nil {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
 		return 0
 	}
-	n, warm := 0, g.warm(now)
-	for _, u := range g.members {
-		n += r.room(now, u, warm)
+	n, warm := 0, pu.hasWarmUpstream(now)
+	for _, u := range pu.members {
+		n += r.capacity(now, u, warm)
 	}
 	return n
 }
@@ -300,34 +307,36 @@
 // Routable returns the number of upstreams of the pool, ejected ones included,
 // and their slots in this process's share.
 func (r *Router[P]) Routable(p model.Pool) (upstreams, slots int) {
-	g := r.pools[p]
-	if g == nil {
+	pu := r.upstreamsByPool[p]
+	if pu == nil {
 		return 0, 0
 	}
-	for _, u := range g.members {
+	for _, u := range pu.members {
 		slots += u.Slots
 	}
-	return len(g.members), slots
+	return len(pu.members), slots
 }
 
-// End gives a slot back and reports whether the upstream was ejected by this
-// outcome. The outcome of a request to an earlier process of the upstream says
-// nothing of the present one.
-func (r *Router[P]) End(now clock.Millis, h Reservation, o Outcome) (ejected bool) {
-	u := h.Upstream
+// End releases the slot of a finished request and reports whether its outcome
+// ejected the upstream. Outcomes of requests to an earlier generation or
+// incarnation of the upstream are ignored, because they say nothing about the
+// present process.
+func (r *Router[P]) End(now clock.Millis, res Reservation, o Outcome) (ejected bool) {
+	u := res.Upstream
 	u.Running--
-	if h.Generation != u.Generation && u.OldRunning > 0 {
+	if res.Generation != u.Generation && u.OldRunning > 0 {
 		u.OldRunning--
 		r.unblock(u)
 	}
-	if h.Generation == u.Generation && h.Incarnation == u.Incarnation && u.Pool != "" {
-		ejected = r.learn(now, u, o)
+	if res.Generation == u.Generation && res.Incarnation == u.Incarnation && u.Pool != "" {
+		ejected = r.recordOutcome(now, u, o)
 	}
-	r.forget(u)
+	r.dropUnused(u)
 	return ejected
 }
 
-// unblock ends the hold-up of a release once nothing uses the instance.
+// unblock lets a release be confirmed once no earlier request and no loan uses the
+// instance.
 func (r *Router[P]) unblock(u *Upstream) {
 	if u.OldRunning == 0 && u.Lent == 0 {
 		u.BlockedRelease = 0
@@ -335,11 +344,10 @@
 	}
 }
 
-// DrainedVersion returns the highest version of the table such that no request in
-// flight and no loan uses an instance released at or below it; 0 in quarantine.
-// When an instance was routable
-// again before all earlier requests had ended, which control never allows, the
-// result can be lower than that.
+// DrainedVersion returns the highest table version such that no request in flight
+// and no loan uses an instance released at or below it; 0 while LoansUncertain is
+// set. The result can be lower if an instance became routable again before all
+// earlier requests had ended, which the control group never allows.
 func (r *Router[P]) DrainedVersion() model.Version {
 	if r.LoansUncertain {
 		return 0
