Reword package runner in the terms of the field

Comments spoke of boards that decide, batches on their way and orders that come about; they now name the scheduler, the batch in flight and machine actions. take.go is inputs.go, after its subject. Two messages of stale heartbeats say which heartbeat replaced them; nothing matches the old texts. Test heads state the failure in one or two lines; subtests say status and ID instead of state and name. Checks are unchanged.

--- a/core/coord/runner/doc.go
+++ b/core/coord/runner/doc.go
@@ -1,4 +1,5 @@
-// Package runner is the leader's duty that runs submitted work: it takes calls
-// of submitters and operators and heartbeats of workers, lets the board of
-// package sched decide, has the decisions committed, and only then answers.
+// Package runner schedules submitted jobs on the leader of the control group.
+// It receives calls of submitters and operators and heartbeats of workers, has
+// package sched decide, replicates the decisions through the consensus group,
+// and answers only once they are committed.
 package runner
--- a/core/coord/runner/take.go
+++ b/core/coord/runner/inputs.go
@@ -10,12 +10,13 @@
 	"camphorridge/core/state/sched"
 )
 
+// propose commits the operations of a batch as one change.
 func (r *Runner[G, M, O, J]) propose(ctx context.Context, b *batch) error {
 	_, err := r.group.Propose(ctx, model.Change{Kind: model.ChangeJobs, Ops: b.ops})
 	return err
 }
 
-// load fetches a copy of the committed state.
+// load sets the batch's state to a copy of the committed jobs state.
 func (r *Runner[G, M, O, J]) load(ctx context.Context, b *batch) error {
 	if err := r.group.Read(ctx); err != nil {
 		return err
@@ -52,12 +53,12 @@
 	}
 	if !r.scheduler.Heartbeat(*h, now) {
 		r.counts.StaleHeartbeats++
-		reply <- heartbeatResult{err: failf("heartbeat", KindStale, "it is older than one that was taken")}
+		reply <- heartbeatResult{err: failf("heartbeat", KindStale, "a later heartbeat of this worker was already received")}
 		return
 	}
 	if old, ok := r.waiting[h.Worker]; ok {
-		// The worker gave the earlier heartbeat up.
-		old.reply <- heartbeatResult{err: failf("heartbeat", KindStale, "a later heartbeat came")}
+		// The worker has given up on the earlier heartbeat.
+		old.reply <- heartbeatResult{err: failf("heartbeat", KindStale, "replaced by a later heartbeat of this worker")}
 	}
 	r.waiting[h.Worker] = waitingHeartbeat{reply: reply, receivedAt: h.ReceivedAt}
 }
@@ -73,7 +74,8 @@
 	r.next.answers = append(r.next.answers, pendingAnswer{answer: a, reply: reply, uncertain: uncertain})
 	switch a.Kind {
 	case AnswerNoJob, AnswerNoQueue, AnswerNoWave:
-		// Only a leader that is confirmed may say that something does not exist.
+		// Only a confirmed leader may answer that something does not exist: a
+		// later leader may have accepted it.
 		r.next.confirm = true
 	}
 	if c.Kind == CallGetConfig || c.Kind == CallGetWave {
@@ -81,7 +83,8 @@
 	}
 }
 
-// decideCall decides a call on the board; the answer is sent with the next commit.
+// decideCall applies a call to the scheduler and returns the answer, which is
+// sent once the next batch is committed.
 func (r *Runner[G, M, O, J]) decideCall(c *Call, now clock.Millis) Answer {
 	s := r.scheduler.State
 	switch c.Kind {
@@ -123,8 +126,8 @@
 	return r.decideJobCall(c, &q, id, now)
 }
 
-// decideNamedCall decides a call that names its queue or its job. The queue of a job
-// that is known may have been removed.
+// decideNamedCall is decideCall for calls that name their queue or job directly.
+// The queue of an existing job may have been removed from the configuration.
 func (r *Runner[G, M, O, J]) decideNamedCall(c *Call, now clock.Millis) Answer {
 	name := c.Queue
 	rec := r.scheduler.State.Jobs[c.JobID]
@@ -169,8 +172,8 @@
 	return Answer{Status: r.scheduler.State.Jobs[id].Status}
 }
 
-// resolve finds the queue with the longest prefix of a path, and the rest of
-// the path.
+// resolve returns the queue of the host with the longest prefix of the path, and
+// the rest of the path as the job's ID. ok is false when no queue matches.
 func resolve(c *jobs.Config, host, path string) (best jobs.Queue, id jobs.ID, ok bool) {
 	for _, q := range c.Queues {
 		if q.Host != host || len(path) < len(q.Prefix) || path[:len(q.Prefix)] != q.Prefix {
@@ -186,13 +189,14 @@
 	return best, jobs.ID(path[len(best.Prefix):]), true
 }
 
-// runActions sends actions to the platform, several at a time.
+// runActions sends actions to the platform one at a time; several goroutines
+// run it.
 func (r *Runner[G, M, O, J]) runActions() {
 	for {
 		select {
 		case a := <-r.actions.C():
-			done := &actionResult{action: a, outcome: r.sendAction(a)}
-			if !r.in.PutWait(input{action: done}, r.ended) {
+			result := &actionResult{action: a, outcome: r.sendAction(a)}
+			if !r.in.PutWait(input{action: result}, r.ended) {
 				return
 			}
 		case <-r.ended:
@@ -210,8 +214,9 @@
 	return r.machines.Do(ctx, MachineAction{Action: a.Action, Holder: r.Name, Token: a.term, MaySend: func() bool { return r.maySend(a) }})
 }
 
-// maySend reports whether an action maySend be sent: this process still leads in the
-// term of the decision, which is fresh, and the machine was not suspended since.
+// maySend reports whether an action may be sent: this process still leads in the
+// term of the decision, the decision is no older than maxActionAge, and the
+// machine was not suspended since.
 func (r *Runner[G, M, O, J]) maySend(a pendingAction) bool {
 	term, ok := r.group.Leads()
 	skew := r.clock.Skew() - a.skew
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -12,35 +12,38 @@
 	"camphorridge/core/state/sched"
 )
 
-// Bounds of the duty.
+// Limits and timeouts of the runner.
 const (
 	ringSize = 4096
-	// commitTimeout bounds one change. A leader that cannot commit for so long
-	// has lost its followers.
+	// commitTimeout is the limit for committing one batch. A leader that can't
+	// commit for this long has lost its quorum.
 	commitTimeout = 4 * clock.Second
-	// maxConfirmationAgeMillis is the age from which a confirmation of the leadership is
-	// renewed before a lease is granted on it.
+	// maxConfirmationAgeMillis is the age above which the leadership is confirmed
+	// again before a worker lease is granted.
 	maxConfirmationAgeMillis clock.Millis = 300
-	// suspensionMillis is the change of the clock's skew that counts as a suspension.
+	// suspensionMillis is the change of the clock's skew that is treated as a
+	// suspension of the machine.
 	suspensionMillis clock.Millis = 200
-	// maxIdleMillis is the longest pause between two looks at the leadership.
+	// maxIdleMillis is the longest time between two checks of the leadership.
 	maxIdleMillis = clock.Second
-	// retryAfterMillis is when a caller may come back that found no leader.
+	// retryAfterMillis is the retry delay given to callers that found no leader.
 	retryAfterMillis clock.Millis = 500
 	actionSenders    int          = 4
 	actionRingSize   int          = 256
-	// maxListedJobs bounds the jobs of one list.
+	// maxListedJobs is the largest number of jobs in an answer to CallList.
 	maxListedJobs int = 200
-	// actionTimeout bounds one action of the platform, and actionAge is how old
-	// a committed action may be when it is sent: an older one may meet those of
-	// a later leader.
+	// actionTimeout is the limit for sending one action to the platform, on top
+	// of the time that the action itself takes.
 	actionTimeout = 2 * clock.Second
-	maxActionAge  = clock.Second
+	// maxActionAge is the age above which a committed action is not sent any
+	// more, because it may conflict with actions of a later leader.
+	maxActionAge = clock.Second
 )
 
-// Runner is the duty. Its methods may be called from any goroutine.
+// Runner schedules jobs while its process leads. One goroutine, in Run, owns
+// the scheduler; all methods may be called from any goroutine.
 type Runner[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
-	// Name is the holder of orders to the platform.
+	// Name is sent to the platform as the holder of machine actions.
 	Name     string
 	group    G
 	machines M
@@ -48,9 +51,10 @@
 	health   J
 	settings sched.Settings
 	clock    clock.Clock
-	// notes takes explanations of decisions, and observe the time that each
-	// commit took; both may be nil and must not wait.
-	notes         func([]sched.Note)
+	// notes receives explanations of decisions; it may be nil and must not block.
+	notes func([]sched.Note)
+	// observeCommit receives the duration of each commit; it may be nil and must
+	// not block.
 	observeCommit func(clock.Millis)
 
 	in              *ring.Ring[input]
@@ -61,25 +65,34 @@
 	once            sync.Once
 	publishedCounts atomic.Pointer[Counts]
 
-	// What follows is touched by the duty's goroutine alone.
+	// The fields below are used by Run's goroutine alone.
+
+	// scheduler is nil while this process does not lead or has not loaded the
+	// state.
 	scheduler *sched.Scheduler[O, J]
-	term      uint64
-	// next collects what the passes decided; flying is being committed.
-	next     batch
+	// term is the term in which this process leads; 0 when it doesn't.
+	term uint64
+	// next collects the decisions for the next commit.
+	next batch
+	// inFlight is the batch that is being committed; nil for none.
 	inFlight *batch
-	// confirmedAt is a time at which this process certainly led.
+	// confirmedAt is the latest time at which this process is known to have led;
+	// 0 for none.
 	confirmedAt clock.Millis
-	// lastSkew is the clock's when it last changed by more than pauseMillis.
+	// lastSkew is the clock's skew when it last changed by more than
+	// suspensionMillis.
 	lastSkew clock.Millis
-	waiting  map[jobs.WorkerID]waitingHeartbeat
-	// reloadAt is when the state may be loaded again after a failed commit.
+	// waiting holds the heartbeats that are not answered yet.
+	waiting map[jobs.WorkerID]waitingHeartbeat
+	// reloadAt is the time from which the state may be loaded again after a
+	// failed commit.
 	reloadAt clock.Millis
 	timer    <-chan struct{}
 	wakeAt   clock.Millis
 	counts   Counts
 }
 
-// waitingHeartbeat is a heartbeat whose answer is held back.
+// waitingHeartbeat is a heartbeat that waits for its answer.
 type waitingHeartbeat struct {
 	reply      chan heartbeatResult
 	receivedAt clock.Millis
@@ -90,17 +103,19 @@
 	err   error
 }
 
-// pendingAction is an pendingAction of the platform that may be sent.
+// pendingAction is a committed action that has not been sent to the platform.
 type pendingAction struct {
 	sched.Action
+	// term is the leader's term in which the action was decided.
 	term      uint64
 	decidedAt clock.Millis
-	// skew is the clock's at that time; it changes with a suspension, during which
-	// the clock stands still.
+	// skew is the clock's skew at decidedAt. A suspension of the machine changes
+	// the skew, because the clock stands still meanwhile.
 	skew clock.Millis
 }
 
-// input is one value in the duty's ring; one part is set.
+// input is one entry of the runner's ring. One of call, heartbeat, departure,
+// committed and action is set; none for a mere wake-up.
 type input struct {
 	call      *Call
 	answer    chan Answer
@@ -111,6 +126,7 @@
 	action    *actionResult
 }
 
+// departure is the report that a worker ended by itself.
 type departure struct {
 	worker jobs.WorkerID
 	life   jobs.Incarnation
@@ -121,11 +137,14 @@
 	outcome sched.Outcome
 }
 
-// batch is what waits for one commit.
+// batch is a set of operations that is committed as one change, with the
+// answers, orders and actions that are sent only after the commit.
 type batch struct {
 	ops []jobs.Op
-	// load asks for the state in place of a commit.
-	load      bool
+	// load is set to read the state instead of committing operations.
+	load bool
+	// confirm is set when the leadership must be confirmed even if there are no
+	// operations to commit.
 	confirm   bool
 	term      uint64
 	startedAt clock.Millis
@@ -133,7 +152,7 @@
 	orders    []pendingOrders
 	actions   []sched.Action
 
-	// state and err are the outcome.
+	// state is the result of a load.
 	state *jobs.State
 	err   error
 }
@@ -141,8 +160,8 @@
 type pendingAnswer struct {
 	answer Answer
 	reply  chan Answer
-	// uncertain is set when the call rests on an operation of an earlier batch:
-	// it may be done although its own batch is not committed.
+	// uncertain is set when the call depends on an operation of an earlier batch.
+	// Such a call may take effect although its own batch is not committed.
 	uncertain bool
 }
 
@@ -151,7 +170,8 @@
 	waiter waitingHeartbeat
 }
 
-// Config are what a runner works with.
+// Config holds the settings and dependencies of a Runner; see the fields of
+// Runner.
 type Config[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy] struct {
 	Name          string
 	Group         G
@@ -164,7 +184,7 @@
 	ObserveCommit func(clock.Millis)
 }
 
-// New returns a runner; Run must be called for it to do anything.
+// New returns a runner. It processes inputs only while Run is running.
 func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
 		Name: p.Name, group: p.Group, machines: p.Machines, rank: p.Rank, health: p.Health, settings: p.Settings,
@@ -176,17 +196,19 @@
 	return r
 }
 
-// Counts returns the counters.
+// Counts returns a copy of the counters.
 func (r *Runner[G, M, O, J]) Counts() Counts { return *r.publishedCounts.Load() }
 
-// Refused is the number of inputs that found the ring full.
+// Refused returns the number of inputs that were refused because the ring was
+// full.
 func (r *Runner[G, M, O, J]) Refused() int64 { return r.in.Refused() }
 
-// Wake lets the duty look at the leadership at once.
+// Wake makes the runner check the leadership at once.
 func (r *Runner[G, M, O, J]) Wake() { r.in.TryPut(input{}) }
 
-// Call hands in a call and waits for its answer. An error stands for
-// AnswerUnavailable or, of KindUnknown, AnswerUnknown.
+// Call passes a call to the runner and waits for its answer. Failures are
+// reported as AnswerUnavailable, or as AnswerOutcomeUnknown when the call may
+// have been carried out.
 func (r *Runner[G, M, O, J]) Call(ctx context.Context, c Call) Answer {
 	reply := make(chan Answer, 1)
 	if !r.in.TryPut(input{call: &c, answer: reply}) {
@@ -206,8 +228,8 @@
 	return Answer{Kind: AnswerUnavailable, RetryAfter: retryAfterMillis, Reason: reason}
 }
 
-// Heartbeat hands in a heartbeat and waits for its answer. Errors are of kind
-// not-leader, busy, unknown or stale.
+// Heartbeat passes a worker's heartbeat to the runner and waits for the answer.
+// An error is an *Error.
 func (r *Runner[G, M, O, J]) Heartbeat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
 	reply := make(chan heartbeatResult, 1)
 	h.ReceivedAt = r.clock.Now()
@@ -224,21 +246,22 @@
 	}
 }
 
-// Leave takes note of a worker that ended by itself.
+// Leave reports that a worker ended by itself. It returns false when the ring
+// is full.
 func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Incarnation) bool {
 	return r.in.TryPut(input{departure: &departure{worker: id, life: life}})
 }
 
-// Leads reports whether this process leads and has the state.
+// Leads reports whether this process leads.
 func (r *Runner[G, M, O, J]) Leads() bool {
 	_, ok := r.group.Leads()
 	return ok
 }
 
-// Stop ends Run.
+// Stop ends Run; it may be called more than once.
 func (r *Runner[G, M, O, J]) Stop() { r.once.Do(func() { close(r.done) }) }
 
-// Run is the duty.
+// Run is the event loop; it returns after Stop.
 func (r *Runner[G, M, O, J]) Run() error {
 	defer close(r.ended)
 	go r.runCommits()
@@ -268,9 +291,10 @@
 	}
 }
 
-// detectSuspension drops the confirmation of the leadership after a suspension of the
-// machine, during which the clock stood still: its age is not what it seems.
-// A step of the time of day looks the same and costs one confirmation.
+// detectSuspension discards the confirmation of the leadership after a
+// suspension of the machine: the clock stood still meanwhile, so the
+// confirmation is older than it seems. A step of the wall clock looks the same
+// and costs one more confirmation.
 func (r *Runner[G, M, O, J]) detectSuspension() {
 	skew := r.clock.Skew()
 	if d := skew - r.lastSkew; d > suspensionMillis || d < -suspensionMillis {
@@ -279,8 +303,9 @@
 	}
 }
 
-// followLeadership follows the leadership: what was decided in an earlier term and is not
-// committed is dropped, and the state is loaded anew.
+// followLeadership reacts to a change of leader or term: it discards the
+// uncommitted decisions of the earlier term and loads the state again when this
+// process leads.
 func (r *Runner[G, M, O, J]) followLeadership() {
 	term, ok := r.group.Leads()
 	if ok && (term == r.term || r.clock.Now() < r.reloadAt) {
@@ -297,7 +322,8 @@
 	r.startCommit(&batch{load: true, term: term, startedAt: r.clock.Now()})
 }
 
-// reset forgets the board and answers everyone who waits.
+// reset discards the scheduler and the next batch, and answers all waiting
+// callers and workers with err.
 func (r *Runner[G, M, O, J]) reset(err *Error) {
 	if r.scheduler != nil {
 		r.counts.Resets++
@@ -311,7 +337,7 @@
 	}
 }
 
-// failBatch answers those whose batch was not committed.
+// failBatch sends the answers for a batch that was not committed.
 func (r *Runner[G, M, O, J]) failBatch(b *batch, err *Error) {
 	for _, a := range b.answers {
 		if err.Kind == KindUnknown || a.uncertain {
@@ -325,7 +351,7 @@
 	}
 }
 
-// pass lets the board decide and has the decisions committed.
+// pass runs one scheduling pass and adds its decisions to the next batch.
 func (r *Runner[G, M, O, J]) pass() {
 	now := r.clock.Now()
 	if r.scheduler == nil {
@@ -364,7 +390,7 @@
 	}
 }
 
-// wakeBy makes sure that the duty wakes up at a time.
+// wakeBy sets the timer so that the loop runs again at the given time or before.
 func (r *Runner[G, M, O, J]) wakeBy(now, at clock.Millis) {
 	if r.timer != nil && r.wakeAt <= at {
 		return
@@ -372,8 +398,8 @@
 	r.timer, r.wakeAt = r.clock.After(max(at-now, 1)), at
 }
 
-// startNextBatch hands the next batch to the committer unless one is on its way. What
-// needs no commit is released at once.
+// startNextBatch passes the next batch to the committer unless another one is in
+// flight. A batch that needs no commit is released at once.
 func (r *Runner[G, M, O, J]) startNextBatch(now clock.Millis) {
 	if r.inFlight != nil {
 		return
@@ -399,12 +425,12 @@
 	r.inFlight = b
 	r.counts.Batches++
 	r.counts.Operations += int64(len(b.ops))
-	// The ring holds one batch and none is on its way, but for the load of a
-	// later term.
+	// The ring has room for one batch, and at most one is in flight, except that
+	// a later term may load the state while an earlier batch is still in flight.
 	r.commits.PutWait(b, r.done)
 }
 
-// releaseBatch sends out what a batch decided.
+// releaseBatch sends the answers, orders and actions of a batch.
 func (r *Runner[G, M, O, J]) releaseBatch(b *batch, now clock.Millis) {
 	for _, a := range b.answers {
 		a.reply <- a.answer
@@ -423,7 +449,7 @@
 	}
 }
 
-// handleCommit takes the outcome of a commit.
+// handleCommit handles the outcome of a commit, load or confirmation.
 func (r *Runner[G, M, O, J]) handleCommit(b *batch, now clock.Millis) {
 	if r.inFlight == b {
 		r.inFlight = nil
@@ -456,7 +482,7 @@
 	r.releaseBatch(b, now)
 }
 
-// runCommits is the committer duty: one change, read or load at a time.
+// runCommits is the committer goroutine; it handles one batch at a time.
 func (r *Runner[G, M, O, J]) runCommits() {
 	for {
 		select {
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -22,16 +22,16 @@
 	errUnknown   = errors.New("the outcome is unknown")
 )
 
-// fakeGroup is a consensus of one that can be held up, and can lose its
-// leadership.
+// fakeGroup is a consensus group of one member that can be blocked and can lose
+// its leadership.
 type fakeGroup struct {
 	mu    sync.Mutex
 	state *fleet.State
 	term  uint64
 	leads bool
-	// gate, when set, holds proposals and reads back until it is closed.
+	// gate, when set, blocks proposals and reads until it is closed.
 	gate chan struct{}
-	// fail is the error of proposals.
+	// fail, when set, is returned by Propose.
 	fail    error
 	changes int
 	reads   int
@@ -139,11 +139,11 @@
 	return r
 }
 
-// patience is far above what an answer takes.
+// patience is the timeout of one call, far above what an answer takes.
 const patience = 10 * time.Second
 
-// ask repeats a call until its answer is of a kind: the state is loaded in the
-// background.
+// ask repeats a call until its answer has the wanted kind, because the state is
+// loaded in the background. It fails the test after patience.
 func ask(t *testing.T, r *testRunner, want AnswerKind, c Call) Answer {
 	t.Helper()
 	var a Answer
@@ -166,7 +166,7 @@
 	}}}
 }
 
-func beat(r *testRunner, seq int64) (HeartbeatReply, error) {
+func sendHeartbeat(r *testRunner, seq int64) (HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	return r.Heartbeat(ctx, sched.Heartbeat{
@@ -174,8 +174,8 @@
 	})
 }
 
-// TestAnswersFollowTheCommit guards against a submission that is acknowledged,
-// or a task that is started, before it is durable.
+// TestAnswersFollowTheCommit guards against acknowledging a submission or
+// starting a task before the decision is committed.
 func TestAnswersFollowTheCommit(t *testing.T) {
 	g := newFakeGroup()
 	r := start(t, g)
@@ -185,7 +185,7 @@
 	started := make(chan HeartbeatReply, 1)
 	go func() { answered <- r.Call(context.Background(), submit("/q/a")) }()
 	go func() {
-		reply, _ := beat(r, 1)
+		reply, _ := sendHeartbeat(r, 1)
 		started <- reply
 	}()
 	select {
@@ -201,7 +201,7 @@
 	reply := <-started
 	if len(reply.Orders.Starts) == 0 {
 		var err error
-		reply, err = beat(r, 2)
+		reply, err = sendHeartbeat(r, 2)
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, len(reply.Orders.Starts), 2)
@@ -209,8 +209,8 @@
 	assert.Assert(t, reply.Lease > 0 && reply.Lease <= r.settings.LeaseMillis)
 }
 
-// TestResendIsOneJob guards against a job that runs twice because its
-// submitter, who got no answer, sent it again.
+// TestResendIsOneJob guards against running a job twice because its submitter
+// got no answer and sent it again.
 func TestResendIsOneJob(t *testing.T) {
 	r := start(t, newFakeGroup())
 	for range 3 {
@@ -220,7 +220,7 @@
 	assert.Equal(t, a.Count, 1)
 }
 
-// TestCalls is the table of what calls are answered.
+// TestCalls guards against a wrong kind of answer to each kind of call.
 func TestCalls(t *testing.T) {
 	r := start(t, newFakeGroup())
 	ask(t, r, AnswerDone, submit("/q/a"))
@@ -231,24 +231,24 @@
 		call Call
 		want AnswerKind
 	}{
-		{"state of a job", Call{Kind: CallStatus, Host: "h", Path: "/q/a"}, AnswerDone},
-		{"state of no job", Call{Kind: CallStatus, Host: "h", Path: "/q/none"}, AnswerNoJob},
+		{"status of a job", Call{Kind: CallStatus, Host: "h", Path: "/q/a"}, AnswerDone},
+		{"status of an unknown job", Call{Kind: CallStatus, Host: "h", Path: "/q/none"}, AnswerNoJob},
 		{"unknown host", Call{Kind: CallStatus, Host: "x", Path: "/q/a"}, AnswerNoQueue},
 		{"unknown path", submit("/other/a"), AnswerNoQueue},
 		{"longest prefix", Call{Kind: CallPending, Host: "h", Path: "/q/deep/"}, AnswerDone},
-		{"no identity", submit("/q/"), AnswerInvalid},
-		{"a gang", gang, AnswerDone},
-		{"a queue with advice", Call{Kind: CallSubmit, Host: "a", Path: "/x", Job: gang.Job}, AnswerDone},
-		{"cancel of no job", Call{Kind: CallCancel, Host: "h", Path: "/q/none"}, AnswerNoJob},
+		{"no job ID", submit("/q/"), AnswerInvalid},
+		{"gang", gang, AnswerDone},
+		{"queue with advice", Call{Kind: CallSubmit, Host: "a", Path: "/x", Job: gang.Job}, AnswerDone},
+		{"cancel of an unknown job", Call{Kind: CallCancel, Host: "h", Path: "/q/none"}, AnswerNoJob},
 		{"cancel", Call{Kind: CallCancel, Host: "h", Path: "/q/a"}, AnswerDone},
-		{"state by name", Call{Kind: CallStatus, JobID: "a"}, AnswerDone},
-		{"state of no job by name", Call{Kind: CallStatus, JobID: "none"}, AnswerNoJob},
-		{"explanation by name", Call{Kind: CallExplain, JobID: "a"}, AnswerDone},
-		{"explanation of no job", Call{Kind: CallExplain, JobID: "none"}, AnswerNoJob},
+		{"status by ID", Call{Kind: CallStatus, JobID: "a"}, AnswerDone},
+		{"status of an unknown job by ID", Call{Kind: CallStatus, JobID: "none"}, AnswerNoJob},
+		{"explanation by ID", Call{Kind: CallExplain, JobID: "a"}, AnswerDone},
+		{"explanation of an unknown job", Call{Kind: CallExplain, JobID: "none"}, AnswerNoJob},
 		{"list", Call{Kind: CallList}, AnswerDone},
-		{"submission by name", Call{Kind: CallSubmit, Queue: "deep", JobID: "named", Job: gang.Job}, AnswerDone},
-		{"submission to no queue", Call{Kind: CallSubmit, Queue: "none", JobID: "unknown", Job: gang.Job}, AnswerNoQueue},
-		{"submission without a name", Call{Kind: CallSubmit, Queue: "deep", Job: gang.Job}, AnswerInvalid},
+		{"submission by queue and ID", Call{Kind: CallSubmit, Queue: "deep", JobID: "named", Job: gang.Job}, AnswerDone},
+		{"submission to an unknown queue", Call{Kind: CallSubmit, Queue: "none", JobID: "unknown", Job: gang.Job}, AnswerNoQueue},
+		{"submission without an ID", Call{Kind: CallSubmit, Queue: "deep", Job: gang.Job}, AnswerInvalid},
 		{"unknown wave", Call{Kind: CallGetWave, WaveNumber: 7}, AnswerNoWave},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -258,8 +258,9 @@
 	assert.Equal(t, ask(t, r, AnswerDone, Call{Kind: CallStatus, Host: "h", Path: "/q/a"}).Status, jobs.StatusCancelled)
 }
 
-// TestOlderConfigurationChangesNothing guards against a change that comes late
-// and takes effect after a newer one, and against a refusal of the resend.
+// TestOlderConfigurationChangesNothing guards against a delayed older
+// configuration that replaces a newer one, and against refusing a resend of the
+// version in force.
 func TestOlderConfigurationChangesNothing(t *testing.T) {
 	r := start(t, newFakeGroup())
 	for _, version := range []uint64{3, 2} {
@@ -269,8 +270,8 @@
 	assert.Equal(t, string(ask(t, r, AnswerDone, Call{Kind: CallGetConfig}).ConfigDocument), "{}")
 }
 
-// TestAbsenceIsConfirmed guards against a leader that was replaced and says
-// that a job, which the next leader has accepted, does not exist.
+// TestAbsenceIsConfirmed guards against a replaced leader that reports a job as
+// not existing although the next leader has accepted it.
 func TestAbsenceIsConfirmed(t *testing.T) {
 	g := newFakeGroup()
 	r := start(t, g)
@@ -286,9 +287,10 @@
 	assert.Assert(t, (<-answered).Kind != AnswerNoJob)
 }
 
-// TestLostCommit guards against an acknowledgement of what was not committed,
-// against a refusal as not run of what may be, and against the loss of a job
-// that was: the state is loaded anew.
+// TestLostCommit covers failed commits. It guards against acknowledging a
+// submission that was not committed, against answering "unavailable" when the
+// submission may have been committed, and against losing committed jobs when
+// the state is loaded again.
 func TestLostCommit(t *testing.T) {
 	g := newFakeGroup()
 	r := start(t, g)
@@ -303,8 +305,8 @@
 	ask(t, r, AnswerNoJob, Call{Kind: CallStatus, Host: "h", Path: "/q/refused"})
 }
 
-// TestLeaseAfterSuspension guards against a leader that was suspended, during
-// which its clock stood still, and grants leases on an old confirmation.
+// TestLeaseAfterSuspension guards against a leader that grants leases on an old
+// confirmation after a suspension, during which its clock stood still.
 func TestLeaseAfterSuspension(t *testing.T) {
 	fake := clock.NewFake(100_000)
 	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
@@ -318,15 +320,15 @@
 	assert.Equal(t, r.confirmedAt, clock.Millis(0))
 }
 
-// TestHeldUpActionIsNotSent guards against an order to the platform from a
-// process that was held up between the decision and the call: another one may
-// lead since and have given orders for the same machine.
-func TestHeldUpActionIsNotSent(t *testing.T) {
-	const began = 100_000
+// TestDelayedActionIsNotSent guards against an action that is sent long after
+// its decision because the process was suspended or slow: another process may
+// have become leader and have sent actions for the same machine.
+func TestDelayedActionIsNotSent(t *testing.T) {
+	const startTime = 100_000
 	for _, c := range []struct {
-		name string
-		hold func(f *clock.Fake, g *fakeGroup)
-		want bool
+		name  string
+		delay func(f *clock.Fake, g *fakeGroup)
+		want  bool
 	}{
 		{"at once", func(*clock.Fake, *fakeGroup) {}, true},
 		{"frozen", func(f *clock.Fake, _ *fakeGroup) { f.Advance(maxActionAge + 1) }, false},
@@ -335,26 +337,26 @@
 		{"elected again", func(_ *clock.Fake, g *fakeGroup) { g.term++ }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			fake, g := clock.NewFake(began), newFakeGroup()
+			fake, g := clock.NewFake(startTime), newFakeGroup()
 			r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 				Group: g, Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 			})
-			a := pendingAction{term: g.term, decidedAt: began, skew: fake.Clock().Skew()}
-			c.hold(fake, g)
+			a := pendingAction{term: g.term, decidedAt: startTime, skew: fake.Clock().Skew()}
+			c.delay(fake, g)
 			assert.Equal(t, r.maySend(a), c.want)
 		})
 	}
 }
 
-// TestFollowerRefuses guards against a heartbeat or a call that waits in a
-// process that does not lead.
+// TestFollowerRefuses guards against a heartbeat or a call that waits in vain in
+// a process that does not lead.
 func TestFollowerRefuses(t *testing.T) {
 	g := newFakeGroup()
 	r := start(t, g)
 	g.set(func() { g.leads = false })
 	r.Wake()
 	ask(t, r, AnswerUnavailable, Call{Kind: CallStatus, Host: "h", Path: "/q/a"})
-	_, err := beat(r, 1)
+	_, err := sendHeartbeat(r, 1)
 	var e *Error
 	assert.Assert(t, errors.As(err, &e))
 	assert.Equal(t, e.Kind, KindNotLeader)
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -11,19 +11,20 @@
 	"camphorridge/core/state/sched"
 )
 
-// Kind tells the errors of the package apart.
+// Kind is the kind of an Error.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindNotLeader means that this process does not lead, or does not yet
-	// have the state; nothing was done.
+	// KindNotLeader means that this process does not lead or has not loaded the
+	// state yet; nothing was done.
 	KindNotLeader Kind = iota
-	// KindBusy means that too many inputs wait; nothing was done.
+	// KindBusy means that the input ring is full; nothing was done.
 	KindBusy
-	// KindUnknown means that what was asked for may or may not be done.
+	// KindUnknown means that the request may or may not have been carried out.
 	KindUnknown
-	// KindStale means that a heartbeat came late and was not taken.
+	// KindStale means that the heartbeat was ignored because a later one of the
+	// same worker was received.
 	KindStale
 )
 
@@ -43,71 +44,80 @@
 	return &Error{Op: op, Kind: kind, Err: fmt.Errorf(format, args...)}
 }
 
-// Group is what the runner needs of the consensus duty.
+// Group is the consensus group as the runner uses it.
 type Group interface {
+	// Propose replicates a change and returns the result of applying it.
 	Propose(ctx context.Context, c model.Change) (model.Result, error)
-	// Read returns once a query that follows sees every acknowledged change.
+	// Read returns once a later Query sees every acknowledged change. It fails
+	// when this process can't confirm that it leads.
 	Read(ctx context.Context) error
+	// Query runs f on the replicated state.
 	Query(ctx context.Context, f func(*fleet.State)) error
-	// Leads reports whether this process leads, and in which term.
+	// Leads returns the current term and whether this process leads in it.
 	Leads() (uint64, bool)
-	// Certain reports whether an error of Propose says that the change was not
-	// and will not be applied.
+	// Certain reports whether an error of Propose proves that the change was
+	// not applied and never will be.
 	Certain(err error) bool
 }
 
-// Machines is the platform's interface to machines.
+// Machines is the platform's interface to its machines.
 type Machines interface {
-	// Do carries an order out.
+	// Do sends an action to the platform and returns the platform's answer.
 	Do(ctx context.Context, o MachineAction) sched.Outcome
 }
 
-// MachineAction is an action of the platform in the name of a leader.
+// MachineAction is an action that a leader asks the platform to carry out on a
+// machine.
 type MachineAction struct {
 	sched.Action
+	// Holder is the name of the leader that sends the action.
 	Holder string
 	// Token is the leader's fencing token.
 	Token uint64
-	// MaySend reports whether the order may still be sent. It has to be asked right
-	// before the order is written: a process may be held up at any point before,
-	// for longer than it takes another one to lead and to give orders.
+	// MaySend reports whether the action may still be sent. Call it right before
+	// the request is written: this process may be suspended at any earlier point
+	// for so long that another process becomes leader and sends actions itself.
 	MaySend func() bool
 }
 
-// CallKind tells calls apart.
+// CallKind is the kind of a Call.
 type CallKind int
 
 // The kinds of call.
 const (
-	// CallSubmit hands in Job under the path's identity.
+	// CallSubmit submits Job under the ID that the path or JobID names.
 	CallSubmit CallKind = iota
+	// CallStatus returns the status of a job.
 	CallStatus
+	// CallCancel cancels a job.
 	CallCancel
 	// CallPending counts the jobs of a queue that have not started.
 	CallPending
-	// CallPing asks whether calls can be answered.
+	// CallPing checks whether calls can be answered.
 	CallPing
-	// CallExplain asks how far a job is and what it waits for, and CallList for
-	// the jobs that have not ended.
+	// CallExplain returns a job's progress and what it waits for.
 	CallExplain
+	// CallList lists the jobs that have not ended.
 	CallList
-	// CallConfigure puts Config in force, and CallConfig returns what is.
+	// CallConfigure puts Config in force.
 	CallConfigure
+	// CallGetConfig returns the configuration in force.
 	CallGetConfig
-	// CallDeclareWave declares Wave, and CallWave asks for wave Number.
+	// CallDeclareWave declares the maintenance wave Wave.
 	CallDeclareWave
+	// CallGetWave returns whether the wave WaveNumber has completed.
 	CallGetWave
 )
 
-// Call is a question or an order of a submitter or an operator.
+// Call is a request of a submitter or an operator.
 type Call struct {
 	Kind CallKind
-	// Host and Path select the queue; what follows the queue's prefix names
-	// the job.
+	// Host and Path select the queue; the part of Path after the queue's prefix
+	// is the ID of the job.
 	Host string
 	Path string
-	// Queue and ID name the queue and the job in place of them; a job that is
-	// known needs no queue.
+	// Queue and JobID are an alternative to Host and Path. Queue may be empty
+	// when a job with JobID exists.
 	Queue      jobs.QueueName
 	JobID      jobs.ID
 	Job        jobs.Job
@@ -116,22 +126,24 @@
 	WaveNumber int
 }
 
-// AnswerKind tells answers apart.
+// AnswerKind is the kind of an Answer.
 type AnswerKind int
 
 // The kinds of answer.
 const (
+	// AnswerDone means that the call was carried out.
 	AnswerDone AnswerKind = iota
-	// AnswerNoQueue, AnswerNoJob and AnswerNoWave: there is none.
+	// AnswerNoQueue, AnswerNoJob and AnswerNoWave mean that the named queue, job
+	// or wave does not exist.
 	AnswerNoQueue
 	AnswerNoJob
 	AnswerNoWave
-	// AnswerInvalid: the call names nothing that can be done.
+	// AnswerInvalid means that the call doesn't name a job.
 	AnswerInvalid
-	// AnswerUnavailable: nothing was done and nothing will be; Retry says when
-	// to come back.
+	// AnswerUnavailable means that nothing was done and nothing will be done;
+	// the caller may retry after RetryAfter.
 	AnswerUnavailable
-	// AnswerOutcomeUnknown: it may be done.
+	// AnswerOutcomeUnknown means that the call may or may not be carried out.
 	AnswerOutcomeUnknown
 )
 
@@ -139,7 +151,7 @@
 	"done", "no-queue", "no-job", "no-wave", "invalid", "unavailable", "unknown",
 }
 
-// String returns the name used in logs and metrics.
+// String returns the name of the kind in logs and metrics.
 func (k AnswerKind) String() string {
 	if k < 0 || int(k) >= len(answerNames) {
 		return "undefined"
@@ -147,22 +159,27 @@
 	return answerNames[k]
 }
 
-// Answer is the answer to a call.
+// Answer is the answer to a Call.
 type Answer struct {
-	Kind   AnswerKind
+	Kind AnswerKind
+	// Status is the status of the job that the call named.
 	Status jobs.Status
-	// Count answers CallPending, and CallList with the number of all jobs of
-	// which Jobs may be a part.
+	// Count is the number of pending jobs for CallPending. For CallList it is
+	// the number of all jobs that have not ended; Jobs may hold fewer.
 	Count int
-	// Report answers CallExplain, and Jobs CallList.
+	// Report is set for CallExplain.
 	Report *sched.JobReport
-	Jobs   []sched.JobSummary
-	// ConfigDocument and Version answer CallConfig.
+	// Jobs is set for CallList.
+	Jobs []sched.JobSummary
+	// ConfigDocument is set for CallGetConfig.
 	ConfigDocument []byte
-	ConfigVersion  uint64
-	// WaveCompleted answers CallWave.
+	// ConfigVersion is the version in force; set for CallGetConfig and
+	// CallConfigure.
+	ConfigVersion uint64
+	// WaveCompleted is set for CallGetWave.
 	WaveCompleted bool
-	// RetryAfter is when an unavailable caller may come back.
+	// RetryAfter is the delay after which a caller may retry; set for
+	// AnswerUnavailable.
 	RetryAfter clock.Millis
 	Reason     string
 }
@@ -170,23 +187,24 @@
 // HeartbeatReply is the answer to a heartbeat.
 type HeartbeatReply struct {
 	Orders sched.Orders
-	// Lease is the time, from the sending of the heartbeat, during which the
-	// worker may run tasks; 0 for none.
+	// Lease is how long the worker may run tasks, counted from the time at which
+	// it sent the heartbeat; 0 grants no lease.
 	Lease clock.Millis
 	// Token is the fencing token of the orders.
 	Token uint64
 }
 
-// Counts are counters since the start; they only grow.
+// Counts holds counters since the start of the process; they only grow.
 type Counts struct {
 	Heartbeats      int64
 	StaleHeartbeats int64
 	Calls           int64
 	Batches         int64
 	Operations      int64
-	// Resets counts the times that uncommitted decisions were dropped.
+	// Resets counts how often the scheduler's state was discarded, with the
+	// decisions that were not committed yet.
 	Resets int64
-	// RunsStarted, Lost and Failed count runs.
+	// RunsStarted, RunsLost and RunsFailed count runs of tasks.
 	RunsStarted int64
 	RunsLost    int64
 	RunsFailed  int64
