Reword packages record and roster

Comments on duties, answers and events that gave way to others now say what is recorded, dropped or forwarded and why nothing is retried. roster.go is forwarder.go, after the type Forwarder; its receiver and two locals follow. No check changed.

--- a/core/coord/record/doc.go
+++ b/core/coord/record/doc.go
@@ -1,3 +1,3 @@
-// Package record is the duty that keeps the time line of a process: it stamps
-// events, keeps the newest in a bounded log and answers for them.
+// Package record keeps the event log of a process: it stamps events, keeps the
+// newest ones in a bounded log and answers queries about them.
 package record
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -10,12 +10,12 @@
 	"camphorridge/core/state/trail"
 )
 
-// ringSize holds the events of a burst, such as a wave of refusals, until the
-// duty gets to run.
+// ringSize is the number of events that can wait for the event loop; it is large
+// enough for a burst, such as many refusals at once.
 const ringSize = 1024
 
-// Recorder is the duty that owns the event log of a process. Its methods may
-// be called from any goroutine.
+// Recorder owns the event log of a process. Its methods may be called from any
+// goroutine.
 type Recorder struct {
 	process model.Process
 	clock   clock.Clock
@@ -24,20 +24,22 @@
 	ended   chan struct{}
 	stop    sync.Once
 
-	// mu guards stamping, so that events enter the ring in the order of their
-	// stamps.
+	// mu guards the fields up to lost and is held from stamping an event until it
+	// is in the ring, so that events enter the ring in the order of their stamps.
 	mu     sync.Mutex
 	hybrid trail.HybridClock
 	seq    uint64
-	// closed is set once the duty no longer reads the ring.
+	// closed is set once the event loop no longer reads events from the ring.
 	closed bool
-	lost   int64
+	// lost counts the events that never reached the log.
+	lost int64
 
-	// log is touched by Run alone until ended is closed, then read only.
+	// log is used by Run's goroutine alone until ended is closed, and is only
+	// read after that.
 	log *trail.Log
 }
 
-// input carries an event, or a question when answer is set.
+// input is an entry of the ring: an event, or a query when answer is set.
 type input struct {
 	event  model.Event
 	since  uint64
@@ -50,7 +52,7 @@
 	dropped int64
 }
 
-// New returns a recorder that keeps capacity events.
+// New returns a recorder that keeps the newest capacity events.
 func New(process model.Process, capacity int, c clock.Clock) *Recorder {
 	return &Recorder{
 		process: process, clock: c,
@@ -60,7 +62,8 @@
 	}
 }
 
-// Run keeps the log until Stop. Events recorded before Stop are kept.
+// Run adds events to the log and answers queries until Stop. Events recorded
+// before Stop still reach the log.
 func (r *Recorder) Run() error {
 	defer close(r.ended)
 	for {
@@ -90,9 +93,9 @@
 	m.answer <- reply{r.log.Since(m.since, m.limit), r.log.Dropped}
 }
 
-// Record stamps the event and hands it to the duty. It never waits: an event
-// that the full ring turns away is counted and leaves a gap in the sequence
-// numbers.
+// Record stamps the event and puts it into the ring. It never blocks: when the
+// ring is full the event is dropped and counted, which leaves a gap in the
+// sequence numbers.
 func (r *Recorder) Record(e model.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -104,41 +107,46 @@
 	}
 }
 
-// Next returns the stamp for a message to another process.
+// Next returns a new stamp for a message to another process.
 func (r *Recorder) Next() model.Stamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.hybrid.Next(r.clock.Now())
 }
 
-// Observe takes note of the stamp of a message from another process.
+// Observe advances the hybrid clock to the stamp of a message from another
+// process.
 func (r *Recorder) Observe(s model.Stamp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hybrid.Observe(s, r.clock.Now())
 }
 
-// Events returns the events kept whose sequence number is above since, oldest
-// first. It waits for the events recorded before by the same goroutine.
+// Events returns the logged events whose sequence number is greater than since,
+// oldest first. It includes all events that the same goroutine recorded before
+// the call, unless they were dropped.
 func (r *Recorder) Events(since uint64) []model.Event { return r.Page(since, math.MaxInt) }
 
-// Page is Events for at most limit events, so that a long log is not copied
-// for one response.
+// Page is like Events but returns at most limit events, so that a response
+// doesn't copy a long log.
 func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.ask(since, limit).events }
 
-// Counts are the counters of a recorder; they only grow.
+// Counts holds the counters of a recorder; they only grow.
 type Counts struct {
-	// Recorded counts all events, dropped ones included.
+	// Recorded counts all events, including lost and dropped ones.
 	Recorded int64
-	// Lost counts the events that never reached the log.
+	// Lost counts the events that never reached the log, because the ring was
+	// full or Run had ended.
 	Lost int64
-	// Dropped counts the oldest events that gave way to newer ones.
+	// Dropped counts the events that were removed from the log to make room for
+	// newer ones.
 	Dropped int64
-	// Rejected counts the stamps of other processes that were too far ahead.
+	// Rejected counts the stamps from other processes that were rejected because
+	// they were too far ahead of the local clock.
 	Rejected int64
 }
 
-// Counts returns the counters.
+// Counts returns a copy of the counters.
 func (r *Recorder) Counts() Counts {
 	dropped := r.ask(0, 0).dropped
 	r.mu.Lock()
--- a/core/coord/record/record_test.go
+++ b/core/coord/record/record_test.go
@@ -11,9 +11,8 @@
 	"camphorridge/core/state/model"
 )
 
-// TestConcurrentRecord guards against events that are lost or reordered when
-// several goroutines record, and against a log that cannot be read after the
-// end of the duty.
+// TestConcurrentRecord guards against losing or reordering events when several
+// goroutines record, and against a log that can't be read after Run has ended.
 func TestConcurrentRecord(t *testing.T) {
 	r := record.New("e1", 20_000, clock.Real())
 	ran := make(chan error, 1)
@@ -49,8 +48,8 @@
 	check()
 }
 
-// TestRecordNeverWaits guards against a Record that blocks its caller when
-// the duty does not run, and against drops that are not counted.
+// TestRecordNeverWaits guards against a Record that blocks while Run is not
+// running, and against dropped events that are not counted.
 func TestRecordNeverWaits(t *testing.T) {
 	r := record.New("e1", 4, clock.NewFake(1000).Clock())
 	for range 3000 {
@@ -66,7 +65,7 @@
 	assert.Assert(t, counts.Lost > 1)
 }
 
-// BenchmarkRecord measures what an event costs the goroutine that records it.
+// BenchmarkRecord measures the cost of Record for the calling goroutine.
 func BenchmarkRecord(b *testing.B) {
 	r := record.New("e1", 4096, clock.Real())
 	ran := make(chan error, 1)
--- a/core/coord/roster/doc.go
+++ b/core/coord/roster/doc.go
@@ -1,4 +1,4 @@
-// Package roster is the duty that passes the announcements of upstreams on to
-// the other entry processes of the zone. Each neighbour has a goroutine and a
-// ring of its own, so that a frozen neighbour holds up no other.
+// Package roster forwards the announcements of upstreams to the other entry
+// processes of the zone. Each neighbour has its own goroutine and ring, so that
+// an unresponsive neighbour does not delay the others.
 package roster
--- /dev/null
+++ b/core/coord/roster/forwarder.go
@@ -0,0 +1,121 @@
+package roster
+
+import (
+	"context"
+	"sync"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+)
+
+// Limits and timeouts of the forwarder.
+const (
+	// batchWait is how long the first announcement of a batch waits for others.
+	batchWait clock.Millis = 20
+	maxBatch  int          = 256
+	ringSize  int          = 1024
+	// sendTimeout is the limit for sending one batch. A lost batch needs no retry:
+	// upstreams announce again after a third of their lease.
+	sendTimeout clock.Millis = 500
+)
+
+// Sender sends announcements to one neighbour.
+type Sender interface {
+	// Announce sends the announcements all to the entry process m.
+	Announce(ctx context.Context, m model.Member, all []model.Announcement) error
+}
+
+// Forwarder forwards announcements to the neighbours of an entry process.
+type Forwarder[S Sender] struct {
+	sender S
+	clock  clock.Clock
+	peers  []peer
+	done   chan struct{}
+}
+
+type peer struct {
+	member model.Member
+	in     *ring.Ring[model.Announcement]
+}
+
+// New returns a forwarder to the given neighbours.
+func New[S Sender](s S, neighbours []model.Member, c clock.Clock) *Forwarder[S] {
+	f := &Forwarder[S]{sender: s, clock: c, done: make(chan struct{})}
+	for _, m := range neighbours {
+		f.peers = append(f.peers, peer{member: m, in: ring.New[model.Announcement](ringSize)})
+	}
+	return f
+}
+
+// Forward sends an announcement that this process received from the upstream
+// itself to all neighbours. It doesn't block; when the ring of a neighbour is
+// full, the announcement to that neighbour is dropped and counted.
+func (f *Forwarder[S]) Forward(a model.Announcement) {
+	for _, p := range f.peers {
+		p.in.TryPut(a)
+	}
+}
+
+// Refused returns the number of announcements that were dropped because a ring
+// was full.
+func (f *Forwarder[S]) Refused() int64 {
+	var n int64
+	for _, p := range f.peers {
+		n += p.in.Refused()
+	}
+	return n
+}
+
+// Run forwards announcements until Stop.
+func (f *Forwarder[S]) Run() error {
+	var wg sync.WaitGroup
+	for _, p := range f.peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.runPeer(p)
+		}()
+	}
+	wg.Wait()
+	<-f.done
+	return nil
+}
+
+// Stop ends Run.
+func (f *Forwarder[S]) Stop() { close(f.done) }
+
+func (f *Forwarder[S]) runPeer(p peer) {
+	for {
+		select {
+		case a := <-p.in.C():
+			f.send(p, a)
+		case <-f.done:
+			return
+		}
+	}
+}
+
+// send waits for more announcements, merges them into one batch and sends it. A
+// later announcement of an instance replaces an earlier one.
+func (f *Forwarder[S]) send(p peer, first model.Announcement) {
+	select {
+	case <-f.clock.After(batchWait):
+	case <-f.done:
+		return
+	}
+	received := p.in.Drain([]model.Announcement{first}, maxBatch)
+	indexes := make(map[model.InstanceID]int, len(received))
+	batch := received[:0]
+	for _, a := range received {
+		if i, ok := indexes[a.Instance]; ok {
+			batch[i] = a
+			continue
+		}
+		indexes[a.Instance] = len(batch)
+		batch = append(batch, a)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout.Duration())
+	defer cancel()
+	_ = f.sender.Announce(ctx, p.member, batch)
+}
