Reword package mover in the terms of the field

The comments spoke of a board that is told, callers that feel and processes that hear; they now name the wave planner, load reports and reported instances. Unexported names and locals follow. Test heads name the failure and how it comes about; two tests are renamed for what they check. Checks and stored reasons are unchanged.

--- a/core/coord/mover/moves.go
+++ b/core/coord/mover/capacityplanner.go
@@ -10,42 +10,43 @@
 	"camphorridge/core/state/plan"
 )
 
-// CapacityPlanner decides moves between pools by package plan. It follows the table
-// by what changed and decides only after a change.
+// CapacityPlanner plans moves of instances between pools with package plan. It is
+// updated with the changes of the table and plans only after a change.
 type CapacityPlanner[A plan.Policy, S plan.Chooser] struct {
 	*SurgePlanner[S]
 	policy A
 	set    plan.Settings
-	// RepairAfter is the time that a lost instance is waited for before another
-	// takes its place: most come back from a restart, and each repair costs two
-	// moves.
+	// RepairAfter is how long an instance must be lost before another instance
+	// replaces it. Most lost instances are only restarting, and each replacement
+	// costs two moves.
 	RepairAfter clock.Millis
-	book        *plan.FleetIndex
+	index       *plan.FleetIndex
 	contracts   map[model.Customer]model.Contract
-	// lost holds the instances that are lost and not yet given up.
-	lost  map[model.InstanceID]model.Instance
-	dirty bool
-	last  plan.Assignment
+	// lost holds the lost instances that are not replaced yet.
+	lost map[model.InstanceID]model.Instance
+	// dirty is set when something changed since the last assignment.
+	dirty          bool
+	lastAssignment plan.Assignment
 }
 
-// NewCapacityPlanner returns a capacity decision with the policy given.
+// NewCapacityPlanner returns an empty planner with the given policy and settings.
 func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *SurgePlanner[S]) *CapacityPlanner[A, S] {
 	c := &CapacityPlanner[A, S]{SurgePlanner: s, policy: p, set: set, RepairAfter: repairAfter}
 	c.Reset()
 	return c
 }
 
-// Reset forgets everything, for a new term.
+// Reset empties the planner for a new term.
 func (c *CapacityPlanner[A, S]) Reset() {
-	c.book = plan.NewFleetIndex(nil)
+	c.index = plan.NewFleetIndex(nil)
 	c.contracts = map[model.Customer]model.Contract{}
 	c.lost = map[model.InstanceID]model.Instance{}
-	c.last = plan.Assignment{}
+	c.lastAssignment = plan.Assignment{}
 	c.dirty = false
 	c.SurgePlanner.Reset()
 }
 
-// Update takes what changed in the table.
+// Update applies changes of the table.
 func (c *CapacityPlanner[A, S]) Update(d model.Delta) {
 	for _, x := range d.Contracts {
 		c.contracts[x.Customer] = x
@@ -59,11 +60,11 @@
 		for _, n := range names {
 			list = append(list, c.contracts[n])
 		}
-		c.book.SetContracts(list)
+		c.index.SetContracts(list)
 		c.dirty = true
 	}
 	for _, i := range d.Instances {
-		c.book.SetInstance(i, false)
+		c.index.SetInstance(i, false)
 		delete(c.lost, i.ID)
 		if i.LostSince != 0 {
 			c.lost[i.ID] = i
@@ -72,13 +73,13 @@
 	}
 }
 
-// Moves returns the releases that start moves, and what the moves cannot
-// reach. It decides anew only after a change, or when a lost instance has been
-// waited for.
+// Moves returns the release steps that start moves, and the waits for what no
+// move can provide. It plans again only after a change, or when an instance has
+// been lost for RepairAfter.
 func (c *CapacityPlanner[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
 	for id, i := range c.lost {
 		if now-i.LostSince >= c.RepairAfter {
-			c.book.SetInstance(i, true)
+			c.index.SetInstance(i, true)
 			delete(c.lost, id)
 			c.dirty = true
 		}
@@ -88,9 +89,9 @@
 		return nil, c.waits()
 	}
 	c.dirty = false
-	c.last = plan.Decide(c.policy, c.set, c.book, extras)
+	c.lastAssignment = plan.Decide(c.policy, c.set, c.index, extras)
 	var steps []model.InstanceStep
-	for _, m := range c.last.Moves {
+	for _, m := range c.lastAssignment.Moves {
 		i := t.Instances[m.Instance]
 		if i.Phase != model.PhaseServing || i.LostSince != 0 {
 			continue
@@ -102,9 +103,10 @@
 	return steps, c.waits()
 }
 
+// waits returns the gaps of the last assignment and the reasons of surge actions.
 func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
-	for _, g := range c.last.Gaps {
+	for _, g := range c.lastAssignment.Gaps {
 		waits = append(waits, Wait{
 			Reason: fmt.Sprintf("pool %s: %s %s: %d of %d: %s", g.Pool, g.Kind, g.Subject, g.Have, g.Need, g.Reason),
 		})
@@ -115,5 +117,6 @@
 	return waits
 }
 
-// Invalidate makes the next call decide again, after steps that were not applied.
+// Invalidate makes the next call of Moves plan again. It is called when steps were
+// not applied.
 func (c *CapacityPlanner[A, S]) Invalidate() { c.dirty = true }
--- a/core/coord/mover/doc.go
+++ b/core/coord/mover/doc.go
@@ -1,5 +1,5 @@
-// Package mover is the duty of the control group's leader that turns
-// decisions into steps of the replicated log: it enrols announced instances,
-// finishes releases once every entry process of the zone confirmed them, and
-// hands instances to the platform for maintenance.
+// Package mover turns decisions about instances into steps of the replicated
+// log. It runs on the leader of the control group: it adds announced instances
+// to the fleet, finishes releases once every entry process of the zone has
+// confirmed them, and hands instances over to the platform for maintenance.
 package mover
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -12,81 +12,92 @@
 	"camphorridge/core/state/ring"
 )
 
-// Timing and sizes of the duty.
+// Timing and sizes of the mover.
 const (
 	ringSize int = 1024
-	// passInterval bounds how late a step is taken that nothing wakes up.
+	// passInterval is the time between two passes when no report triggers one.
 	passInterval clock.Millis = 500
-	// warmUp is the time that a new leader listens before it takes an absent
-	// instance for lost; the entry processes report within a second.
-	warmUp = 5 * clock.Second
-	// LossGrace is the time after which an absent instance counts as lost. The
-	// lease of its announcement has lapsed before.
-	LossGrace                = 2 * clock.Second
+	// warmUpTime is how long a new leader collects reports before it marks absent
+	// instances as lost or moves instances; entry processes report every second.
+	warmUpTime = 5 * clock.Second
+	// LossGrace is the time after which an absent instance is marked as lost,
+	// counted from when no entry process reports it. The lease of its
+	// announcement has expired by then.
+	LossGrace = 2 * clock.Second
+	// callTimeout is the limit for one call of the group or the platform.
 	callTimeout clock.Millis = 2000
-	// rebootRetry is the time after which a reboot that showed no effect is
-	// asked for again.
-	rebootRetry = 10 * clock.Second
+	// rebootRetryInterval is the time after which a reboot is requested again
+	// when the instance has not restarted.
+	rebootRetryInterval = 10 * clock.Second
 )
 
-// Group is what the mover needs of the control group.
+// Group is the control group as the mover uses it.
 type Group interface {
-	// Leads reports whether this member leads and in which term.
+	// Leads returns the current term and whether this member leads in it.
 	Leads() (term uint64, ok bool)
+	// Propose replicates a change and returns the result of applying it.
 	Propose(ctx context.Context, c model.Change) (model.Result, error)
-	// Query runs f on the state in the group's own goroutine.
+	// Query runs f on the replicated state, in the group's goroutine.
 	Query(ctx context.Context, f func(*fleet.State)) error
 }
 
-// Platform is the interface of the platform that hosts the instances.
+// Platform is the platform that hosts the instances.
 type Platform interface {
-	// Reboot asks for a reboot and does not wait for its end.
+	// Reboot requests a reboot and does not wait until it is finished.
 	Reboot(ctx context.Context, i model.Instance) error
 }
 
-// Mover is the duty. Its methods may be called from any goroutine.
+// Mover runs passes over the fleet while its member leads. Its methods may be
+// called from any goroutine.
 type Mover[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	Config[G, P, C, J, A, S]
 	in    *ring.Ring[input]
 	done  chan struct{}
 	ended chan struct{}
 
-	// The fields below are touched by Run alone.
+	// The fields below are used by Run's goroutine alone.
 
 	registry *Registry
-	table    model.Table
-	// moving holds the instances on their way to another pool, so that a pass
-	// costs what is under way and not the fleet.
+	// table is a copy of the replicated table.
+	table model.Table
+	// moving holds the instances that are released for a move to another pool or
+	// for retirement. It keeps the cost of a pass proportional to the moves in
+	// progress and not to the size of the fleet.
 	moving map[model.InstanceID]bool
-	// away holds the instances in maintenance.
-	away map[model.InstanceID]bool
-	// silent holds the zones of which no entry process has reported lately.
-	silent map[model.Zone]bool
-	// seen is what the board was last told of an instance.
-	seen map[model.InstanceID]maint.Observation
-	// felt sums what callers felt lately.
-	felt feeling
-	// outage is the last finished outage that was read.
-	outage model.Outage
-	began  clock.Millis
-	// rebooted holds when a reboot was last asked for, in this term.
-	rebooted map[model.InstanceID]clock.Millis
-	waits    []Wait
-	term     uint64
+	// inMaintenance holds the instances that are released for maintenance or in
+	// maintenance.
+	inMaintenance map[model.InstanceID]bool
+	// silentZones holds the zones without a recent report of an entry process.
+	silentZones map[model.Zone]bool
+	// observed holds the last observation of each instance that was passed to the
+	// wave planner.
+	observed map[model.InstanceID]maint.Observation
+	// load holds the recent request counts of customers and instances.
+	load loadTotals
+	// lastOutage is the last finished outage that was read from the state.
+	lastOutage    model.Outage
+	termStartedAt clock.Millis
+	// rebootRequestedAt holds the time of the last reboot request in this term.
+	rebootRequestedAt map[model.InstanceID]clock.Millis
+	// waits holds the obstacles found by the last pass.
+	waits []Wait
+	// term is the last term in which this member led.
+	term uint64
 }
 
+// input is an entry of the ring: a report, or a status query.
 type input struct {
 	report *follow.Report
 	status chan<- Status
 }
 
-// Status is what the mover tells operators.
+// Status is the state of the mover that operators see.
 type Status struct {
 	Processes []ProcessReport
 	Waits     []Wait
 }
 
-// Config are what a mover works with.
+// Config holds the dependencies of a Mover.
 type Config[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	// Name is the author of the mover's changes.
 	Name string
@@ -97,11 +108,11 @@
 	Waves    *WavePlanner[C, J]
 	Capacity *CapacityPlanner[A, S]
 	Clock    clock.Clock
-	// Events takes the events of the time line; it must not wait.
+	// Events receives events for the event log; it must not block.
 	Events func(model.Event)
 }
 
-// New returns a mover; Run must be called for it to do anything.
+// New returns a mover. It handles reports only while Run is running.
 func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](p Config[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
 	m := &Mover[G, P, C, J, A, S]{
 		Config: p,
@@ -111,26 +122,27 @@
 	return m
 }
 
-// reset forgets what belongs to a term: a new leader hears all reports anew.
+// reset clears the state that belongs to a term: entry processes send complete
+// reports to a new leader.
 func (m *Mover[G, P, C, J, A, S]) reset(term uint64) {
 	m.term = term
 	m.registry = NewRegistry()
 	m.table = emptyTable()
 	m.moving = map[model.InstanceID]bool{}
-	m.away = map[model.InstanceID]bool{}
-	m.silent = map[model.Zone]bool{}
-	m.seen = map[model.InstanceID]maint.Observation{}
-	m.felt = newFeeling()
-	m.outage = model.Outage{}
-	m.began = m.Clock.Now()
+	m.inMaintenance = map[model.InstanceID]bool{}
+	m.silentZones = map[model.Zone]bool{}
+	m.observed = map[model.InstanceID]maint.Observation{}
+	m.load = newLoadTotals()
+	m.lastOutage = model.Outage{}
+	m.termStartedAt = m.Clock.Now()
 	m.Waves.Reset(nil)
 	m.Capacity.Reset()
-	m.rebooted = map[model.InstanceID]clock.Millis{}
+	m.rebootRequestedAt = map[model.InstanceID]clock.Millis{}
 	m.waits = nil
 }
 
-// followTerm starts anew when this member leads in another term than before,
-// and reports whether it leads.
+// followTerm resets the mover when this member leads in a new term. It reports
+// whether this member leads.
 func (m *Mover[G, P, C, J, A, S]) followTerm() bool {
 	term, ok := m.Group.Leads()
 	if ok && term != m.term {
@@ -139,12 +151,14 @@
 	return ok
 }
 
-// Report takes a report of an entry process; false when the ring is full.
+// Report passes a report of an entry process to the mover. It returns false when
+// the ring is full.
 func (m *Mover[G, P, C, J, A, S]) Report(r follow.Report) bool {
 	return m.in.TryPut(input{report: &r})
 }
 
-// Status returns what the mover knows of the entry processes.
+// Status returns the latest reports of the entry processes and the obstacles of
+// the last pass. It is empty when ctx or Run has ended.
 func (m *Mover[G, P, C, J, A, S]) Status(ctx context.Context) Status {
 	answer := make(chan Status, 1)
 	if !m.in.PutWait(input{status: answer}, m.ended) {
@@ -159,20 +173,21 @@
 	return Status{}
 }
 
-// Refused is the number of reports that found a full ring.
+// Refused returns the number of reports that were refused because the ring was
+// full.
 func (m *Mover[G, P, C, J, A, S]) Refused() int64 { return m.in.Refused() }
 
 // Stop ends Run.
 func (m *Mover[G, P, C, J, A, S]) Stop() { close(m.done) }
 
-// Run takes reports and makes passes until Stop.
+// Run handles reports and runs passes until Stop.
 func (m *Mover[G, P, C, J, A, S]) Run() error {
 	defer close(m.ended)
 	tick := m.Clock.After(passInterval)
 	for {
 		select {
 		case i := <-m.in.C():
-			if m.take(i) {
+			if m.handleInput(i) {
 				m.pass()
 			}
 		case <-tick:
@@ -184,18 +199,20 @@
 	}
 }
 
-// take handles an input and reports whether a pass may find something new.
-func (m *Mover[G, P, C, J, A, S]) take(i input) bool {
+// handleInput handles an input and reports whether a pass should follow because
+// something changed.
+func (m *Mover[G, P, C, J, A, S]) handleInput(i input) bool {
 	if i.status != nil {
 		i.status <- Status{Processes: m.registry.List(), Waits: append([]Wait(nil), m.waits...)}
 		return false
 	}
-	// Entry processes report an instance once in a term, so a report that comes
-	// before the first pass of a term must outlast the reset of that pass.
+	// Entry processes report an unchanged instance once in a term, so a report
+	// that arrives before the first pass of a term must not be lost to the reset
+	// by that pass.
 	m.followTerm()
-	before := m.registry.Processes[i.report.Process].Drained
+	drainedBefore := m.registry.Processes[i.report.Process].Drained
 	m.registry.AddReport(*i.report, m.Clock.Now())
-	m.felt.add(i.report.Load)
+	m.load.add(i.report.Load)
 	m.Capacity.Report(i.report.Process, i.report.Demand, m.Clock.Now())
-	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != before
+	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != drainedBefore
 }
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -15,7 +15,7 @@
 	"camphorridge/core/state/plan"
 )
 
-// fakeGroup applies changes at once, as a group of one member would.
+// fakeGroup applies proposed changes at once.
 type fakeGroup struct {
 	state *fleet.State
 	clock *clock.Fake
@@ -47,16 +47,18 @@
 	testParts = Config[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
 )
 
-// world is a mover with two entry processes of one zone.
+// world simulates a mover with a fleet and two entry processes in one zone.
 type world struct {
 	t        *testing.T
 	clock    *clock.Fake
 	group    *fakeGroup
 	platform *fakePlatform
 	mover    *testMover
-	live     map[model.InstanceID]model.Announcement
-	drained  map[model.Process]model.Version
-	// frozen is an entry process that does not report.
+	// live holds the announcements that both entry processes report.
+	live map[model.InstanceID]model.Announcement
+	// drained overrides the drained version that an entry process reports.
+	drained map[model.Process]model.Version
+	// frozen is the entry process that does not report; empty for none.
 	frozen model.Process
 	events []model.Event
 }
@@ -102,8 +104,8 @@
 	return w
 }
 
-// run lets time pass with reports of both entry processes each second; e2
-// confirms only what drained says.
+// run advances the time by d. In each second the entry processes report and the
+// mover runs a pass.
 func (w *world) run(d clock.Millis) {
 	for range d / clock.Second {
 		w.clock.Advance(clock.Second)
@@ -123,7 +125,7 @@
 					r.Gone = append(r.Gone, id)
 				}
 			}
-			w.mover.take(input{report: &r})
+			w.mover.handleInput(input{report: &r})
 		}
 		w.mover.pass()
 	}
@@ -131,8 +133,8 @@
 
 func (w *world) instance(id model.InstanceID) model.Instance { return w.group.state.Instances[id] }
 
-// TestRepairWaitsForEveryEntry guards against an instance that is assigned to
-// another pool while an entry process of its zone may still route to it.
+// TestRepairWaitsForEveryEntry guards against moving an instance to another pool
+// while an entry process of its zone may still route to it.
 func TestRepairWaitsForEveryEntry(t *testing.T) {
 	w := newWorld(t)
 	assert.Equal(t, len(w.group.state.Instances), 8)
@@ -158,8 +160,8 @@
 	assert.Equal(t, w.instance(moved).Phase, model.PhaseServing)
 }
 
-// TestNewLeaderResumes guards against a wave or a loss that is forgotten, or
-// counted twice, when the leader changes in the middle.
+// TestNewLeaderResumes guards against a wave that is forgotten, or takes too many
+// instances out of service, when the leader changes while it is in progress.
 func TestNewLeaderResumes(t *testing.T) {
 	w := newWorld(t)
 	r, _ := w.group.Propose(context.Background(), model.Change{
@@ -177,7 +179,7 @@
 			if i.OutOfService() {
 				away++
 			}
-			// The platform reboots what was handed over.
+			// The platform reboots the instances that were handed over.
 			if i.Phase == model.PhaseMaintenance {
 				a := w.live[id]
 				a.Incarnation = i.Incarnation + 1
@@ -193,9 +195,9 @@
 	}
 }
 
-// TestSilentZoneIsLeftAlone guards against marking the instances of a
-// partitioned zone as lost and moving others for them.
-func TestSilentZoneIsLeftAlone(t *testing.T) {
+// TestSilentZoneIsNotMarkedLost guards against marking the instances of a
+// partitioned zone as lost and moving other instances to replace them.
+func TestSilentZoneIsNotMarkedLost(t *testing.T) {
 	w := newWorld(t)
 	for range 120 {
 		w.clock.Advance(clock.Second)
@@ -207,15 +209,14 @@
 }
 
 // TestReportBeforeFirstPassOfTerm guards against an instance that is never
-// enrolled because the report that named it was taken between the election and
-// the first pass of the new term. Entry processes report an instance once in a
-// term.
+// enrolled because its report arrived between the election and the first pass of
+// the new term. Entry processes report an unchanged instance once in a term.
 func TestReportBeforeFirstPassOfTerm(t *testing.T) {
 	w := newWorld(t)
 	w.group.term++
 	a := w.live["i0"]
 	a.Instance = "i8"
-	w.mover.take(input{report: &follow.Report{
+	w.mover.handleInput(input{report: &follow.Report{
 		Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a},
 	}})
 	w.mover.pass()
@@ -223,9 +224,10 @@
 	assert.Equal(t, w.instance("i8").ID, model.InstanceID("i8"), "the instance was not enrolled")
 }
 
-// TestQuietEntryHidesNoLoss guards against an instance whose loss is never
-// noticed because an entry process that heard it died with it, and against one
-// that is taken for lost although a process that was only frozen hears it.
+// TestQuietEntryHidesNoLoss guards against missing the loss of an instance
+// because an entry process that reported it failed at the same time, and against
+// keeping an instance marked as lost once a process that was only frozen reports
+// it again.
 func TestQuietEntryHidesNoLoss(t *testing.T) {
 	w := newWorld(t)
 	w.frozen = "e2"
@@ -233,19 +235,20 @@
 	delete(w.live, "i0")
 	w.run(10 * clock.Second)
 	assert.Assert(t, w.instance("i0").LostSince != 0, "the loss was not noticed")
-	assert.Assert(t, w.instance("i1").LostSince == 0, "e1 hears it")
+	assert.Assert(t, w.instance("i1").LostSince == 0, "e1 reports it")
 	w.live["i0"] = w.live["i1"]
 	a := w.live["i0"]
 	a.Instance = "i0"
 	w.live["i0"] = a
 	w.frozen = ""
 	w.run(3 * clock.Second)
-	assert.Assert(t, w.instance("i0").LostSince == 0, "it is heard again")
+	assert.Assert(t, w.instance("i0").LostSince == 0, "it is reported again")
 }
 
-// TestThawedEntryHearsAgain guards against a loss that is declared because the
-// process which hears an instance was frozen and reports only what changed.
-func TestThawedEntryHearsAgain(t *testing.T) {
+// TestResumedEntryCountsAgain guards against marking an instance as lost when the
+// entry process that reports it was frozen and, once resumed, reports only
+// changes.
+func TestResumedEntryCountsAgain(t *testing.T) {
 	g := NewRegistry()
 	a := model.Announcement{Instance: "i0", Zone: "za", Incarnation: 1}
 	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
@@ -253,18 +256,18 @@
 	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
 	g.MarkSilentProcesses(SilentAfter + 1)
 	_, absent := g.Absent["i0"]
-	assert.Assert(t, absent, "only the frozen process hears it")
+	assert.Assert(t, absent, "only the frozen process reports it")
 	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1}, SilentAfter+2)
 	_, absent = g.Absent["i0"]
-	assert.Assert(t, !absent, "the thawed process hears it")
+	assert.Assert(t, !absent, "the resumed process reports it")
 	g.MarkSilentProcesses(4 * SilentAfter)
 	_, absent = g.Absent["i0"]
 	assert.Assert(t, !absent, "the zone is silent as a whole")
 }
 
-// TestRetireAndGone guards against an instance that stays in the fleet for
-// ever because an entry process that no longer exists can't confirm, and
-// against one that is retired while a process that exists has not confirmed.
+// TestRetireAndGone guards against an instance that is never retired because an
+// entry process that no longer exists can't confirm the release, and against
+// retiring an instance while an existing process has not confirmed.
 func TestRetireAndGone(t *testing.T) {
 	w := newWorld(t)
 	w.drained["e2"] = w.group.state.Version
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// pass brings the mover's copy of the table up to date and takes the steps
-// that are due.
+// pass updates the mover's copy of the table, plans the steps that are due and
+// proposes them. It does nothing unless this member leads.
 func (m *Mover[G, P, C, J, A, S]) pass() {
 	if !m.followTerm() {
 		m.waits = nil
@@ -34,29 +34,30 @@
 	moved, waits := m.finishMoves()
 	steps = append(steps, moved...)
 	m.registry.MarkSilentProcesses(now)
-	if now-m.began >= warmUp {
+	if now-m.termStartedAt >= warmUpTime {
 		steps = append(steps, MarkLost(m.table, m.registry, now)...)
 	}
 	m.registry.ClearEnrolled(m.table)
-	m.seeZones(now)
-	m.seeUnderWay()
-	m.seeFelt(now)
+	m.observeSilentZones(now)
+	m.observeMaintenance()
+	m.observeLoad(now)
 	plan := m.Waves.Pass(now)
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
-	if now-m.began >= warmUp {
+	if now-m.termStartedAt >= warmUpTime {
 		moves, gaps := m.Capacity.Moves(m.table, now)
 		steps = append(steps, moves...)
 		m.waits = append(m.waits, gaps...)
 	}
-	if !m.propose(distinct(steps)) {
+	if !m.propose(firstPerInstance(steps)) {
 		m.Capacity.Invalidate()
 	}
-	m.reboots(now)
+	m.requestReboots(now)
 }
 
-// distinct keeps the first step of each instance: a change must not hold two.
-func distinct(steps []model.InstanceStep) []model.InstanceStep {
+// firstPerInstance keeps the first step of each instance, because a change must
+// not hold two steps of one instance.
+func firstPerInstance(steps []model.InstanceStep) []model.InstanceStep {
 	seen := make(map[model.InstanceID]bool, len(steps))
 	kept := steps[:0]
 	for _, s := range steps {
@@ -66,75 +67,79 @@
 		seen[s.Instance.ID] = true
 		kept = append(kept, s)
 	}
-	return first(kept)
+	return sortAndLimit(kept)
 }
 
-// refresh follows the replicated state by its deltas.
+// refresh applies the changes of the replicated state since the last pass. It
+// returns false when the state can't be read or the mover was reset.
 func (m *Mover[G, P, C, J, A, S]) refresh(now clock.Millis) bool {
 	ctx, cancel := m.deadline()
 	defer cancel()
 	var c StateChanges
-	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.outage) })
+	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.lastOutage) })
 	if err != nil {
 		return false
 	}
 	if !fleet.Merge(&m.table, c.Delta) {
-		// The state is older than the copy: another leader's snapshot came in
-		// between. The next pass starts anew.
+		// The state is older than the copy, because a snapshot of another leader
+		// was installed. The next pass starts from an empty copy.
 		m.reset(m.term)
 		return false
 	}
 	if len(c.Outages) > 0 {
-		m.outage = c.Outages[len(c.Outages)-1]
+		m.lastOutage = c.Outages[len(c.Outages)-1]
 	}
 	m.registry.DeclaredGone = c.DeclaredGone
 	m.Waves.Update(c)
 	m.Capacity.Update(c.Delta)
 	for _, i := range c.Delta.Instances {
-		m.note(i, now)
+		m.trackInstance(i, now)
 	}
 	return true
 }
 
-// note keeps the sets of instances under way.
-func (m *Mover[G, P, C, J, A, S]) note(i model.Instance, now clock.Millis) {
+// trackInstance updates the sets of moving and maintained instances for a
+// changed instance.
+func (m *Mover[G, P, C, J, A, S]) trackInstance(i model.Instance, now clock.Millis) {
 	delete(m.moving, i.ID)
-	delete(m.away, i.ID)
+	delete(m.inMaintenance, i.ID)
 	switch {
 	case i.Phase == model.PhaseReleasing && i.Target != i.Pool:
 		m.moving[i.ID] = true
 	case i.Phase == model.PhaseReleasing || i.Phase == model.PhaseMaintenance:
-		m.away[i.ID] = true
+		m.inMaintenance[i.ID] = true
 	}
 	if i.Phase == model.PhaseMaintenance {
 		return
 	}
-	delete(m.rebooted, i.ID)
+	delete(m.rebootRequestedAt, i.ID)
 	if i.Phase == model.PhaseServing {
 		m.registry.MarkAbsentIfUnreported(i.ID, now)
-		m.see(i.ID, keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince}))
+		m.setObservation(i.ID, withLoad(m.observed[i.ID], maint.Observation{LostSince: i.LostSince}))
 	}
 }
 
-// see tells the board what is known of an instance, when that changed.
-func (m *Mover[G, P, C, J, A, S]) see(id model.InstanceID, s maint.Observation) {
-	if m.seen[id] == s {
+// setObservation passes an observation of an instance to the wave planner if it
+// differs from the last one.
+func (m *Mover[G, P, C, J, A, S]) setObservation(id model.InstanceID, o maint.Observation) {
+	if m.observed[id] == o {
 		return
 	}
-	m.seen[id] = s
-	m.Waves.SetObservation(id, s)
+	m.observed[id] = o
+	m.Waves.SetObservation(id, o)
 }
 
-// seeZones counts the instances of zones that fell silent as lost, without
-// marking them in the log, and takes that back when a zone reports again.
-func (m *Mover[G, P, C, J, A, S]) seeZones(now clock.Millis) {
-	if now-m.began < warmUp {
+// observeSilentZones reports the instances of silent zones as lost to the wave
+// planner, without marking them in the replicated log, and withdraws that when a
+// process of the zone reports again.
+func (m *Mover[G, P, C, J, A, S]) observeSilentZones(now clock.Millis) {
+	if now-m.termStartedAt < warmUpTime {
 		return
 	}
 	changed := map[model.Zone]bool{}
 	for _, e := range m.Entries {
-		if quiet := m.registry.ZoneSilent(e.Zone, now); quiet != m.silent[e.Zone] {
-			m.silent[e.Zone] = quiet
+		if silent := m.registry.ZoneSilent(e.Zone, now); silent != m.silentZones[e.Zone] {
+			m.silentZones[e.Zone] = silent
 			changed[e.Zone] = true
 		}
 	}
@@ -145,31 +150,33 @@
 		if !changed[i.Zone] || i.Phase != model.PhaseServing {
 			continue
 		}
-		s := keep(m.seen[i.ID], maint.Observation{LostSince: i.LostSince})
-		if s.LostSince == 0 && m.silent[i.Zone] {
-			s.LostSince = now
+		o := withLoad(m.observed[i.ID], maint.Observation{LostSince: i.LostSince})
+		if o.LostSince == 0 && m.silentZones[i.Zone] {
+			o.LostSince = now
 		}
-		m.see(i.ID, s)
+		m.setObservation(i.ID, o)
 	}
 }
 
-// seeUnderWay tells the board how far the instances in maintenance are.
-func (m *Mover[G, P, C, J, A, S]) seeUnderWay() {
-	for _, id := range slices.Sorted(maps.Keys(m.away)) {
+// observeMaintenance passes the progress of the instances in maintenance to the
+// wave planner.
+func (m *Mover[G, P, C, J, A, S]) observeMaintenance() {
+	for _, id := range slices.Sorted(maps.Keys(m.inMaintenance)) {
 		i := m.table.Instances[id]
-		s := keep(m.seen[id], maint.Observation{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
+		o := withLoad(m.observed[id], maint.Observation{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
 		if i.Phase == model.PhaseMaintenance {
 			l, live := m.registry.Live[id]
-			s.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
+			o.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
 				l.Announcement.State == model.AnnounceServing
-			// An announcement is accepted only from a process that serves.
-			s.Verified = s.Restarted
+			// Announcements are accepted only from upstream processes that serve.
+			o.Verified = o.Restarted
 		}
-		m.see(id, s)
+		m.setObservation(id, o)
 	}
 }
 
-// finishMoves returns the steps of the moves that were confirmed.
+// finishMoves returns the steps that finish confirmed moves and retirements, and
+// the waits for those that are not confirmed.
 func (m *Mover[G, P, C, J, A, S]) finishMoves() ([]model.InstanceStep, []Wait) {
 	var steps []model.InstanceStep
 	var waits []Wait
@@ -181,9 +188,11 @@
 		}
 		steps = append(steps, step)
 	}
-	return first(steps), waits
+	return sortAndLimit(steps), waits
 }
 
+// planSteps converts the steps of a maintenance plan into steps of the replicated
+// log.
 func (m *Mover[G, P, C, J, A, S]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for _, s := range plan.Steps {
@@ -194,11 +203,11 @@
 	return steps
 }
 
-// planWaits turns the waits, stops and late deadlines of a plan into waits for
-// operators.
+// planWaits returns the unconfirmed releases for maintenance and the waits,
+// stopped waves and unmet deadlines of a plan as waits for operators.
 func (m *Mover[G, P, C, J, A, S]) planWaits(plan maint.Plan) []Wait {
 	var waits []Wait
-	for _, id := range slices.Sorted(maps.Keys(m.away)) {
+	for _, id := range slices.Sorted(maps.Keys(m.inMaintenance)) {
 		i := m.table.Instances[id]
 		if i.Phase != model.PhaseReleasing {
 			continue
@@ -225,17 +234,18 @@
 	return waits
 }
 
-// reboots asks the platform for the reboots that have not shown an effect.
-func (m *Mover[G, P, C, J, A, S]) reboots(now clock.Millis) {
-	for _, id := range slices.Sorted(maps.Keys(m.away)) {
+// requestReboots requests a reboot of the instances in maintenance that have not
+// restarted, at most once per rebootRetryInterval each.
+func (m *Mover[G, P, C, J, A, S]) requestReboots(now clock.Millis) {
+	for _, id := range slices.Sorted(maps.Keys(m.inMaintenance)) {
 		i := m.table.Instances[id]
-		if i.Phase != model.PhaseMaintenance || m.seen[id].Restarted {
+		if i.Phase != model.PhaseMaintenance || m.observed[id].Restarted {
 			continue
 		}
-		if asked, ok := m.rebooted[id]; ok && now-asked < rebootRetry {
+		if requestedAt, ok := m.rebootRequestedAt[id]; ok && now-requestedAt < rebootRetryInterval {
 			continue
 		}
-		m.rebooted[id] = now
+		m.rebootRequestedAt[id] = now
 		m.reboot(i)
 	}
 }
@@ -250,19 +260,20 @@
 	m.Events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
 }
 
-// kindOf is the event of a step: a finished move, a finished maintenance or
-// any other step.
-func kindOf(held, next model.Instance) model.EventKind {
+// eventKind returns the kind of event for a step of an instance: a finished move,
+// a finished maintenance or any other step.
+func eventKind(before, next model.Instance) model.EventKind {
 	switch {
-	case held.ID != "" && held.Pool != next.Pool:
+	case before.ID != "" && before.Pool != next.Pool:
 		return model.EventMoved
-	case held.ID != "" && next.MaintainedAt > held.MaintainedAt:
+	case before.ID != "" && next.MaintainedAt > before.MaintainedAt:
 		return model.EventMaintained
 	}
 	return model.EventInstance
 }
 
-// propose reports false when the steps were not applied.
+// propose replicates the steps as one change and writes an event for each. It
+// returns false when the steps were not applied.
 func (m *Mover[G, P, C, J, A, S]) propose(steps []model.InstanceStep) bool {
 	if len(steps) == 0 {
 		return true
@@ -275,13 +286,14 @@
 	}
 	for _, s := range steps {
 		m.Events(model.Event{
-			Kind: kindOf(m.table.Instances[s.Instance.ID], s.Instance), Instance: s.Instance.ID, Pool: s.Instance.Pool, Version: r.Version,
+			Kind: eventKind(m.table.Instances[s.Instance.ID], s.Instance), Instance: s.Instance.ID, Pool: s.Instance.Pool, Version: r.Version,
 			Detail: s.Instance.Phase.String() + ": " + s.Instance.Reason,
 		})
 	}
 	return true
 }
 
+// deadline returns a context for one call of the group or the platform.
 func (m *Mover[G, P, C, J, A, S]) deadline() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), callTimeout.Duration())
 }
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -18,39 +18,43 @@
 	Zone        model.Zone
 	Incarnation uint64
 	Version     model.Version
-	Drained     model.Version
-	// VersionSince is the time at which the leader first heard of Version.
+	// Drained is the drained version; see follow.Report.
+	Drained model.Version
+	// VersionSince is the time at which the leader first received Version.
 	VersionSince clock.Millis
 	// LastReportAt is the time of the latest report.
 	LastReportAt clock.Millis
 }
 
-// Registry holds what the leader heard from the entry processes. It is not
-// durable: a new leader hears everything again within one report interval.
+// Registry holds what the entry processes reported to the leader. It is not
+// durable: a new leader receives complete reports within one report interval.
 type Registry struct {
 	Processes map[model.Process]ProcessReport
-	// Live holds, for each instance, the announcement and the entry processes
-	// that hear it.
+	// Live holds, for each announced instance, its announcement and the entry
+	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
-	// NewlyAnnounced holds the instances that were announced since the last Settle and
-	// may have to be enrolled, so that a pass costs what changed.
+	// NewlyAnnounced holds the instances that were announced since the last
+	// ClearEnrolled and may have to be enrolled. It keeps the cost of a pass
+	// proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
-	// Absent holds the watched instances that no entry process hears, or only
-	// quiet ones, with the time since when.
+	// Absent holds the instances of the fleet that no entry process reports, or
+	// only silent ones, with the time since when.
 	Absent map[model.InstanceID]clock.Millis
-	// SilentProcesses holds the entry processes that stopped reporting while others of
-	// their zone go on. What they heard last does not make an instance present:
-	// they may never come back, and would hide its loss.
+	// SilentProcesses holds the entry processes that stopped reporting while
+	// others of their zone still report. Their last reports do not count for the
+	// presence of an instance: they may never report again and would hide its
+	// loss.
 	SilentProcesses map[model.Process]bool
-	// DeclaredGone holds the entry processes that were declared gone; runs that began
-	// before the time have ended.
+	// DeclaredGone holds the entry processes that were declared gone, with the
+	// time of the declaration. Their runs that started before it have ended.
 	DeclaredGone map[model.Process]clock.Millis
 }
 
-// LiveInstance is an instance that at least one entry process hears.
+// LiveInstance is an instance that at least one entry process reports.
 type LiveInstance struct {
+	// Announcement is the one with the highest incarnation.
 	Announcement model.Announcement
-	// ReportedBy holds the entry processes that hear the instance; never empty.
+	// ReportedBy holds the entry processes that report the instance; never empty.
 	ReportedBy map[model.Process]bool
 	Since      clock.Millis
 }
@@ -66,44 +70,47 @@
 	}
 }
 
-// AddReport adds a report. Reports of an older run of a process are ignored.
+// AddReport adds a report of an entry process that was received at now. Reports
+// of an earlier run of the process are ignored; a report of a later run replaces
+// everything that the earlier run reported.
 func (g *Registry) AddReport(r follow.Report, now clock.Millis) {
-	held, known := g.Processes[r.Process]
-	if known && r.Incarnation < held.Incarnation {
+	latest, known := g.Processes[r.Process]
+	if known && r.Incarnation < latest.Incarnation {
 		return
 	}
-	if !known || r.Incarnation > held.Incarnation {
-		g.forget(r.Process, now)
-		held = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, VersionSince: now}
+	if !known || r.Incarnation > latest.Incarnation {
+		g.forgetProcess(r.Process, now)
+		latest = ProcessReport{Process: r.Process, Zone: r.Zone, Incarnation: r.Incarnation, VersionSince: now}
 	}
-	if r.Version != held.Version {
-		held.Version, held.VersionSince = r.Version, now
+	if r.Version != latest.Version {
+		latest.Version, latest.VersionSince = r.Version, now
 	}
-	held.Drained = r.Drained
-	held.LastReportAt = now
-	g.Processes[r.Process] = held
+	latest.Drained = r.Drained
+	latest.LastReportAt = now
+	g.Processes[r.Process] = latest
 	if g.SilentProcesses[r.Process] {
-		g.unhush(r.Process)
+		g.clearSilent(r.Process)
 	}
 	for _, a := range r.Live {
-		g.hear(r.Process, a, now)
+		g.addAnnouncement(r.Process, a, now)
 	}
 	for _, id := range r.Gone {
-		g.lose(r.Process, id, now)
+		g.removeAnnouncement(r.Process, id, now)
 	}
 }
 
-// MarkAbsentIfUnreported makes an instance absent from now on unless an entry process hears it.
+// MarkAbsentIfUnreported marks an instance as absent since now unless it is
+// absent already or an entry process that is not silent reports it.
 func (g *Registry) MarkAbsentIfUnreported(id model.InstanceID, now clock.Millis) {
 	_, absent := g.Absent[id]
-	if !absent && !g.present(id) {
+	if !absent && !g.isReported(id) {
 		g.Absent[id] = now
 	}
 }
 
-// present reports whether an entry process that is not quiet hears an
+// isReported reports whether an entry process that is not silent reports the
 // instance.
-func (g *Registry) present(id model.InstanceID) bool {
+func (g *Registry) isReported(id model.InstanceID) bool {
 	for p := range g.Live[id].ReportedBy {
 		if !g.SilentProcesses[p] {
 			return true
@@ -112,10 +119,11 @@
 	return false
 }
 
-// MarkSilentProcesses finds the entry processes that became quiet. Those of a zone that is
-// silent as a whole do not count: it may be partitioned and serve its own
-// callers. Its cost follows the number of entry processes, and the number of
-// instances only when one becomes quiet.
+// MarkSilentProcesses marks the entry processes that became silent, and as absent
+// the instances that only they report. Processes of a zone that is silent as a
+// whole are not marked: the zone may be partitioned and still serve its own
+// callers. The cost is proportional to the number of entry processes, and to the
+// number of instances only when a process becomes silent.
 func (g *Registry) MarkSilentProcesses(now clock.Millis) {
 	for _, r := range g.Processes {
 		if g.SilentProcesses[r.Process] || now-r.LastReportAt <= SilentAfter || g.ZoneSilent(r.Zone, now) {
@@ -130,9 +138,10 @@
 	}
 }
 
-// unhush makes present again what an entry process hears that reports again.
-// A process that was only frozen reports no more than what changed.
-func (g *Registry) unhush(p model.Process) {
+// clearSilent handles an entry process that reports again: the instances that it
+// reported before are no longer absent. This is needed because a process that
+// was only frozen reports nothing but changes.
+func (g *Registry) clearSilent(p model.Process) {
 	delete(g.SilentProcesses, p)
 	for id, l := range g.Live {
 		if l.ReportedBy[p] {
@@ -142,7 +151,8 @@
 	}
 }
 
-func (g *Registry) hear(p model.Process, a model.Announcement, now clock.Millis) {
+// addAnnouncement records that the process p reports an instance.
+func (g *Registry) addAnnouncement(p model.Process, a model.Announcement, now clock.Millis) {
 	l, ok := g.Live[a.Instance]
 	if !ok {
 		l = LiveInstance{ReportedBy: map[model.Process]bool{}, Since: now}
@@ -156,7 +166,8 @@
 	delete(g.Absent, a.Instance)
 }
 
-func (g *Registry) lose(p model.Process, id model.InstanceID, now clock.Millis) {
+// removeAnnouncement records that the process p no longer reports an instance.
+func (g *Registry) removeAnnouncement(p model.Process, id model.InstanceID, now clock.Millis) {
 	l, ok := g.Live[id]
 	if !ok {
 		return
@@ -168,14 +179,16 @@
 	g.MarkAbsentIfUnreported(id, now)
 }
 
-func (g *Registry) forget(p model.Process, now clock.Millis) {
+// forgetProcess removes everything that the process p reported about instances.
+func (g *Registry) forgetProcess(p model.Process, now clock.Millis) {
 	for id := range g.Live {
-		g.lose(p, id, now)
+		g.removeAnnouncement(p, id, now)
 	}
 }
 
 // Unconfirmed returns the entry processes of the zone that have not confirmed
-// the release at the given version, in order of their names.
+// the release at version v, in the order of entries. Processes that were declared
+// gone don't have to confirm.
 func (g *Registry) Unconfirmed(entries []model.Member, zone model.Zone, v model.Version) []model.Process {
 	var missing []model.Process
 	for _, m := range entries {
@@ -184,7 +197,7 @@
 		}
 		r, ok := g.Processes[m.Name]
 		gone, declared := g.DeclaredGone[m.Name]
-		// An incarnation is the time at which the run began.
+		// An incarnation is the time at which the run started.
 		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
 			continue
 		}
@@ -195,7 +208,8 @@
 	return missing
 }
 
-// ZoneSilent reports whether no entry process of the zone has reported lately.
+// ZoneSilent reports whether no entry process of the zone has reported within
+// SilentAfter.
 func (g *Registry) ZoneSilent(zone model.Zone, now clock.Millis) bool {
 	for _, r := range g.Processes {
 		if r.Zone == zone && now-r.LastReportAt <= SilentAfter {
@@ -205,7 +219,8 @@
 	return true
 }
 
-// ClearEnrolled forgets the fresh instances that are part of the fleet.
+// ClearEnrolled removes from NewlyAnnounced the instances that are part of the
+// fleet or no longer live.
 func (g *Registry) ClearEnrolled(t model.Table) {
 	for id := range g.NewlyAnnounced {
 		_, known := t.Instances[id]
@@ -216,7 +231,7 @@
 	}
 }
 
-// List returns the reports in order of the processes' names.
+// List returns the latest report of each process, sorted by process name.
 func (g *Registry) List() []ProcessReport {
 	out := make([]ProcessReport, 0, len(g.Processes))
 	for _, r := range g.Processes {
--- a/core/coord/mover/session_test.go
+++ b/core/coord/mover/session_test.go
@@ -13,9 +13,10 @@
 	"camphorridge/io/proto/report"
 )
 
-// TestSession guards against a change in what operators are told of a whole
-// session: enrolment, a restart that costs no move, a loss that is repaired
-// from the spare, its return, a wave with its canary, and a retirement.
+// TestSession compares the events of a whole session with a golden file:
+// enrolment, a restart that causes no move, a loss that is replaced from the
+// spare pool, the return of the lost instance, a wave with its canary, and a
+// retirement.
 func TestSession(t *testing.T) {
 	w := newWorld(t)
 	propose := func(c model.Change) {
--- a/core/coord/mover/decide.go
+++ b/core/coord/mover/steps.go
@@ -9,11 +9,12 @@
 	"camphorridge/core/state/model"
 )
 
-// MaxSteps bounds the instance steps of one change.
+// MaxSteps is the largest number of instance steps in one change.
 const MaxSteps = 64
 
-// Wait says why an instance's step has to wait.
+// Wait is an obstacle that keeps a step or a goal of the mover waiting.
 type Wait struct {
+	// Instance is empty when the obstacle concerns no single instance.
 	Instance model.InstanceID
 	// Unconfirmed lists the entry processes that have not confirmed the release.
 	Unconfirmed []model.Process
@@ -21,8 +22,8 @@
 	Reason      string
 }
 
-// Enrol returns the steps that make announced instances part of the fleet. The
-// period until their next maintenance starts now.
+// Enrol returns the steps that add announced instances to the fleet. Their
+// maintenance period starts at now.
 func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for id := range g.NewlyAnnounced {
@@ -38,11 +39,11 @@
 			Reason: "announced", MaintainedAt: now,
 		}})
 	}
-	return first(steps)
+	return sortAndLimit(steps)
 }
 
-// FinishMove returns the step that ends a move or a retirement, or the wait when an entry
-// process of the instance's zone has not confirmed the release.
+// FinishMove returns the step that finishes a move or a retirement, or a Wait
+// when an entry process of the instance's zone has not confirmed the release.
 func FinishMove(i model.Instance, g *Registry, entries []model.Member) (model.InstanceStep, *Wait) {
 	if missing := g.Unconfirmed(entries, i.Zone, i.Version); len(missing) > 0 {
 		return model.InstanceStep{}, &Wait{
@@ -61,9 +62,10 @@
 	return model.InstanceStep{Base: i.Version, Instance: next}, nil
 }
 
-// MarkLost returns the steps that mark absent instances as lost and those
-// that mark instances as heard again. Instances of a zone that is silent as a
-// whole are left alone: it may be partitioned and serve its own callers.
+// MarkLost returns the steps that mark absent instances as lost, and those that
+// clear the mark of instances that are reported again. Instances of a zone that
+// is silent as a whole are not marked: the zone may be partitioned and still
+// serve its own callers.
 func MarkLost(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for id, since := range g.Absent {
@@ -89,11 +91,11 @@
 		next.Reason = "heard again"
 		steps = append(steps, model.InstanceStep{Base: i.Version, Instance: next})
 	}
-	return first(steps)
+	return sortAndLimit(steps)
 }
 
-// FromPlan returns the step of the replicated log for a step of a maintenance
-// plan; ok is false for steps that change nothing there.
+// FromPlan converts a step of a maintenance plan into a step of the replicated
+// log. ok is false for plan steps that don't change the instance there.
 func FromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
 	next := i
 	next.Reason = s.Reason
@@ -115,9 +117,9 @@
 	return model.InstanceStep{Base: i.Version, Instance: next}, true
 }
 
-// first orders the steps by instance, so that equal states give equal
-// changes, and cuts them to one change.
-func first(steps []model.InstanceStep) []model.InstanceStep {
+// sortAndLimit sorts the steps by instance, so that equal states lead to equal
+// changes, and keeps the first MaxSteps.
+func sortAndLimit(steps []model.InstanceStep) []model.InstanceStep {
 	sort.Slice(steps, func(a, b int) bool { return steps[a].Instance.ID < steps[b].Instance.ID })
 	if len(steps) > MaxSteps {
 		steps = steps[:MaxSteps]
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -320,10 +320,10 @@
 	assert.Equal(t, r.confirmedAt, clock.Millis(0))
 }
 
-// TestDelayedActionIsNotSent guards against an action that is sent long after
+// TestHeldUpActionIsNotSent guards against an action that is sent long after
 // its decision because the process was suspended or slow: another process may
 // have become leader and have sent actions for the same machine.
-func TestDelayedActionIsNotSent(t *testing.T) {
+func TestHeldUpActionIsNotSent(t *testing.T) {
 	const startTime = 100_000
 	for _, c := range []struct {
 		name  string
