--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// BenchmarkAsk measures one Ask with its Done, from 6 goroutines for each
-// processor, with lending off, and on but unused.
+// BenchmarkAsk measures an Ask followed by Done, with 6 goroutines per processor,
+// with lending disabled and with lending enabled but unused.
 func BenchmarkAsk(b *testing.B) {
 	for _, lease := range []clock.Millis{0, 2 * clock.Second} {
 		b.Run(fmt.Sprintf("lease=%d", lease), func(b *testing.B) { benchmarkAsk(b, lease) })
@@ -47,7 +47,7 @@
 	assert.Equal(b, d.Snapshot().Counts.Completed, int64(b.N))
 }
 
-// BenchmarkRefuse measures asks that are refused because the queue is full.
+// BenchmarkRefuse measures requests that are refused because the queue is full.
 func BenchmarkRefuse(b *testing.B) {
 	d := start(b, 1, contract("acme", 1, 0))
 	_, f := d.Ask(b.Context(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -9,44 +9,45 @@
 	"camphorridge/core/state/model"
 )
 
-// Ask waits for the right to send a request. Exactly one of the results is
-// set. A refused request has not run; the holder of a grant must call Done.
+// Ask waits until a request is granted or refused. Exactly one of the results is
+// set. A refused request has not run; the holder of a grant must call Done once.
 func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
-	a := d.asks.Get().(*ask)
-	a.request = r
-	if !d.in.TryPut(message{kind: messageAsk, ask: a}) {
-		d.asks.Put(a)
+	p := d.requestPool.Get().(*pendingRequest)
+	p.request = r
+	if !d.in.TryPut(message{kind: messageRequest, request: p}) {
+		d.requestPool.Put(p)
 		return Grant{}, &Refusal{Kind: RefusalBusy, Reason: "the dispatcher is busy", RetryAfter: clock.Second}
 	}
 	select {
-	case <-a.reply:
-		g, f := a.grant, a.refusal
-		a.refusal = nil
-		d.asks.Put(a)
-		return g, f
+	case <-p.reply:
+		grant, refusal := p.grant, p.refusal
+		p.refusal = nil
+		d.requestPool.Put(p)
+		return grant, refusal
 	case <-ctx.Done():
-		return d.giveUp(ctx, a)
+		return d.cancelRequest(ctx, p)
 	case <-d.done:
 		return Grant{}, stopped()
 	}
 }
 
-// giveUp cancels an ask. The ask is not used again, because the dispatcher may
-// still see the cancel after its answer.
-func (d *Dispatcher[P, Q, L]) giveUp(ctx context.Context, a *ask) (Grant, *Refusal) {
-	if !d.in.PutWait(message{kind: messageCancel, ask: a}, d.done) {
+// cancelRequest cancels a request whose context has ended. The pendingRequest is not
+// put back into the pool, because the dispatcher may still handle the cancel message
+// after it has answered.
+func (d *Dispatcher[P, Q, L]) cancelRequest(ctx context.Context, p *pendingRequest) (Grant, *Refusal) {
+	if !d.in.PutWait(message{kind: messageCancel, request: p}, d.done) {
 		return Grant{}, stopped()
 	}
 	select {
-	case <-a.reply:
+	case <-p.reply:
 	case <-d.done:
 		return Grant{}, stopped()
 	}
 	switch {
-	case a.refusal == nil:
-		d.Done(a.grant.Ticket, OutcomeCancelled, 0)
-	case a.refusal.Kind != RefusalCancelled:
-		return Grant{}, a.refusal
+	case p.refusal == nil:
+		d.Done(p.grant.Ticket, OutcomeCancelled, 0)
+	case p.refusal.Kind != RefusalCancelled:
+		return Grant{}, p.refusal
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return Grant{}, &Refusal{Kind: RefusalDeadline, Reason: "the deadline passed", RetryAfter: clock.Second}
@@ -54,49 +55,57 @@
 	return Grant{}, &Refusal{Kind: RefusalCancelled, Reason: "the caller gave up"}
 }
 
+// stopped returns the refusal for a process that is stopping.
 func stopped() *Refusal {
 	return &Refusal{Kind: RefusalNotReady, Reason: "the process is stopping", RetryAfter: clock.Second}
 }
 
-// Done gives a grant back. It waits for room in the ring, so that no end of a
-// request is lost while the duty runs.
+// Done releases a grant; o says how the request ended, after elapsed. Done
+// waits while the ring is full, so that no end of a request is lost while Run is
+// running.
 func (d *Dispatcher[P, Q, L]) Done(t Ticket, o Outcome, elapsed clock.Millis) {
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
 
-// ApplyDelta puts a change of the table in force. The version never goes down; a
-// delta that does not follow on the table is a KindVersion error. An empty
-// delta from the version in force confirms the table after a pause.
+// ApplyDelta applies a change of the table. It fails with KindVersion when the delta
+// would lower the version or doesn't start at the version in force. An empty delta
+// from the version in force confirms the table after a pause.
 func (d *Dispatcher[P, Q, L]) ApplyDelta(delta model.Delta) error {
-	return d.call(&command{op: opTable, delta: delta}).err
+	return d.call(&command{op: opApplyDelta, delta: delta}).err
 }
 
-// Announce takes in an announcement from an upstream itself.
+// Announce handles an announcement that was received from the upstream itself. It
+// fails with KindAnnounce when the announcement is refused.
 func (d *Dispatcher[P, Q, L]) Announce(a model.Announcement) error {
 	return d.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a, Direct: true})
 }
 
-// ReceiveAnnouncement takes in an announcement from an upstream or from a neighbour.
+// ReceiveAnnouncement handles an announcement that was received from the upstream
+// itself or from a neighbour. It fails with KindAnnounce when the announcement is
+// refused.
 func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(h member.ReceivedAnnouncement) error {
-	return d.call(&command{op: opHear, heard: h}).err
+	return d.call(&command{op: opReceiveAnnouncement, announcement: h}).err
 }
 
-// AnnouncementsSince returns what upstreams themselves announced after a sequence number,
-// for the neighbours, and the number to ask from next.
+// AnnouncementsSince returns the announcements that were received from upstreams
+// themselves after the sequence number since, for use by neighbours, and the
+// sequence number to continue from.
 func (d *Dispatcher[P, Q, L]) AnnouncementsSince(since uint64) ([]member.ReceivedAnnouncement, uint64) {
-	c := d.call(&command{op: opNews, since: since})
-	return c.news, c.since
+	c := d.call(&command{op: opAnnouncementsSince, since: since})
+	return c.updates, c.since
 }
 
-// Drained returns the highest version of the table such that no request in
-// flight uses an instance released at or below it.
-func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drained.Load()) }
+// Drained returns the drained version: the highest version of the table such that
+// no request in flight uses an instance released at or below it.
+func (d *Dispatcher[P, Q, L]) Drained() model.Version {
+	return model.Version(d.publishedDrained.Load())
+}
 
-// Ready reports whether requests are admitted: a table was read, and read again
-// after the last pause of this process.
-func (d *Dispatcher[P, Q, L]) Ready() bool { return d.serving.Load() }
+// Ready reports whether requests are admitted: a table was applied, and it was
+// confirmed after the last pause of this process.
+func (d *Dispatcher[P, Q, L]) Ready() bool { return d.publishedReady.Load() }
 
-// Snapshot returns a copy of the state; its cost follows the number of
+// Snapshot returns a copy of the state. Its cost is proportional to the number of
 // customers and upstreams.
 func (d *Dispatcher[P, Q, L]) Snapshot() Status {
 	s := d.call(&command{op: opStatus}).status
@@ -106,20 +115,21 @@
 
 // Table returns a copy of the table in force.
 func (d *Dispatcher[P, Q, L]) Table() model.Table {
-	return d.call(&command{op: opConfig}).table
+	return d.call(&command{op: opTable}).table
 }
 
-// call hands a command to the duty and waits until it was carried out.
+// call sends a command to the event loop and waits until it has been executed. The
+// returned command has a KindStopped error when the loop has ended.
 func (d *Dispatcher[P, Q, L]) call(c *command) *command {
 	c.reply = make(chan struct{})
 	if !d.in.PutWait(message{kind: messageCommand, command: c}, d.done) {
-		c.err = fail("dispatcher", KindStopped, "the duty has ended")
+		c.err = fail("dispatcher", KindStopped, "the dispatcher has stopped")
 		return c
 	}
 	select {
 	case <-c.reply:
 		return c
 	case <-d.done:
-		return &command{err: fail("dispatcher", KindStopped, "the duty has ended")}
+		return &command{err: fail("dispatcher", KindStopped, "the dispatcher has stopped")}
 	}
 }
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -12,117 +12,122 @@
 	"camphorridge/core/state/route"
 )
 
+// opKind is the operation of a command.
 type opKind int
 
 const (
-	opTable opKind = iota
-	opHear
-	opNews
+	opApplyDelta opKind = iota
+	opReceiveAnnouncement
+	opAnnouncementsSince
 	opStatus
-	opConfig
+	opTable
 	opInstance
 	opLive
 	opLoans
-	opFelt
+	opLoadReport
 	opDemand
 )
 
-// command is a call that the duty answers; the fields of its op are set.
+// command is a call that the event loop executes. Only the fields that belong to
+// its op are set.
 type command struct {
-	op     opKind
-	delta  model.Delta
-	heard  member.ReceivedAnnouncement
-	since  uint64
-	news   []member.ReceivedAnnouncement
-	status Status
-	table  model.Table
-	err    error
-	// instance is asked for by its ID and answered; known says that the table
-	// has it.
-	instance model.Instance
-	known    bool
-	live     []model.Announcement
-	// loans is run by the duty, for the calls on loans.
+	op           opKind
+	delta        model.Delta
+	announcement member.ReceivedAnnouncement
+	since        uint64
+	updates      []member.ReceivedAnnouncement
+	status       Status
+	table        model.Table
+	err          error
+	// instance holds the ID to look up, and then the table's entry; found is set
+	// when the table has it.
+	instance          model.Instance
+	found             bool
+	liveAnnouncements []model.Announcement
+	// loans is run by the event loop, for the calls that concern loans.
 	loans  func(now clock.Millis)
-	felt   model.LoadReport
+	load   model.LoadReport
 	demand []model.PoolDemand
-	// reply is closed once the command was carried out.
+	// reply is closed once the command has been executed.
 	reply chan struct{}
 }
 
+// command executes a command in the event loop.
 func (d *Dispatcher[P, Q, L]) command(now clock.Millis, c *command) {
 	switch c.op {
-	case opTable:
-		c.err = d.merge(now, c.delta)
-	case opHear:
-		c.err = d.hear(now, c.heard)
-	case opNews:
-		c.news, c.since = d.roster.UpdatesSince(now, c.since)
+	case opApplyDelta:
+		c.err = d.applyDelta(now, c.delta)
+	case opReceiveAnnouncement:
+		c.err = d.receiveAnnouncement(now, c.announcement)
+	case opAnnouncementsSince:
+		c.updates, c.since = d.announcements.UpdatesSince(now, c.since)
 	case opStatus:
 		c.status = d.status()
-	case opConfig:
+	case opTable:
 		c.table = model.Table{
 			Version:   d.table.Version,
 			Contracts: maps.Clone(d.table.Contracts),
 			Instances: maps.Clone(d.table.Instances),
 		}
 	case opInstance:
-		c.instance, c.known = d.table.Instances[c.instance.ID]
+		c.instance, c.found = d.table.Instances[c.instance.ID]
 	case opDemand:
 		c.demand = d.demand()
-	case opFelt:
-		c.felt = d.felt.take()
+	case opLoadReport:
+		c.load = d.load.take()
 	case opLive:
-		c.live = d.live(now)
+		c.liveAnnouncements = d.live(now)
 	case opLoans:
 		c.loans(now)
 	}
-	// What others read without a message is stored before the caller learns
-	// that the command was carried out: a confirmation never claims too much,
-	// and a caller sees what its command changed.
+	// The values that other goroutines read without a message are published
+	// before the caller is notified. So the drained version is never overstated,
+	// and the caller sees what its command changed.
 	d.publish()
 	close(c.reply)
 }
 
-// merge puts a delta in force; its cost follows the size of the delta.
-func (d *Dispatcher[P, Q, L]) merge(now clock.Millis, delta model.Delta) error {
-	before := d.table
+// applyDelta applies a delta to the table and to everything derived from it. Its
+// cost is proportional to the size of the delta.
+func (d *Dispatcher[P, Q, L]) applyDelta(now clock.Millis, delta model.Delta) error {
+	old := d.table
 	if delta.Full {
-		delta.RemovedContracts, delta.RemovedInstances = missing(before, delta)
+		delta.RemovedContracts, delta.RemovedInstances = removedByFullDelta(old, delta)
 	}
 	if !fleet.Merge(&d.table, delta) {
-		return fail("table", KindVersion, "version %d to %d does not follow on %d", delta.From, delta.To, before.Version)
+		return fail("table", KindVersion, "the delta from version %d to %d does not apply to the table at version %d", delta.From, delta.To, old.Version)
 	}
 	d.router.Version = d.table.Version
 	for _, i := range delta.Instances {
 		d.countSlots(i.ID, i)
-		d.router.SetInstance(now, i, before.Version)
+		d.router.SetInstance(now, i, old.Version)
 		d.loans.EndLoansOf(i)
 	}
 	for _, id := range delta.RemovedInstances {
 		d.countSlots(id, model.Instance{})
-		d.router.RemoveInstance(now, id, before.Version)
+		d.router.RemoveInstance(now, id, old.Version)
 		d.loans.EndLoansOf(model.Instance{ID: id, Phase: model.PhaseRetired})
 	}
 	for _, c := range delta.Contracts {
 		d.setContract(c)
 	}
 	for _, c := range delta.RemovedContracts {
-		d.refuseAll(d.gate.RemoveCustomer(c), admit.ReasonContract)
+		d.refuseAll(d.admission.RemoveCustomer(c), admit.ReasonContract)
 	}
 	if len(delta.Instances)+len(delta.RemovedInstances) > 0 {
-		d.deriveAgain()
+		d.updateDerivedLimits()
 	}
 	d.ready = true
-	if before.Version != d.table.Version {
+	if old.Version != d.table.Version {
 		d.event(model.Event{Kind: model.EventTable, Version: d.table.Version})
 	}
-	d.pumpAll(now)
+	d.startAllWaiting(now)
 	return nil
 }
 
-// missing lists what a full delta no longer names.
-func missing(t model.Table, delta model.Delta) (contracts []model.Customer, instances []model.InstanceID) {
+// removedByFullDelta returns the contracts and instances of the table that a full
+// delta no longer contains.
+func removedByFullDelta(t model.Table, delta model.Delta) (contracts []model.Customer, instances []model.InstanceID) {
 	named := make(map[model.Customer]bool, len(delta.Contracts))
 	for _, c := range delta.Contracts {
 		named[c.Customer] = true
@@ -132,25 +137,27 @@
 			contracts = append(contracts, c)
 		}
 	}
-	held := make(map[model.InstanceID]bool, len(delta.Instances))
+	listed := make(map[model.InstanceID]bool, len(delta.Instances))
 	for _, i := range delta.Instances {
-		held[i.ID] = true
+		listed[i.ID] = true
 	}
 	for id := range t.Instances {
-		if !held[id] {
+		if !listed[id] {
 			instances = append(instances, id)
 		}
 	}
 	return contracts, instances
 }
 
+// setContract sets this process's share of a contract's limits.
 func (d *Dispatcher[P, Q, L]) setContract(c model.Contract) {
-	share := admit.LimitOf(c, d.slotsOf).Divide(d.rank, d.count)
-	d.refuseAll(d.gate.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPool)
+	share := admit.LimitOf(c, d.slotsOf).Divide(d.processRank, d.processCount)
+	d.refuseAll(d.admission.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPool)
 }
 
-// deriveAgain derives the limits again that follow the instances' slots.
-func (d *Dispatcher[P, Q, L]) deriveAgain() {
+// updateDerivedLimits recomputes the concurrency limits that are derived from the
+// instances' slots.
+func (d *Dispatcher[P, Q, L]) updateDerivedLimits() {
 	for _, c := range d.table.Contracts {
 		if c.Concurrency == 0 {
 			d.setContract(c)
@@ -158,72 +165,75 @@
 	}
 }
 
-func (d *Dispatcher[P, Q, L]) refuseAll(asks []*ask, why admit.Reason) {
-	for _, a := range asks {
-		d.refuse(a, d.refusal(why, a.request.Pool))
+func (d *Dispatcher[P, Q, L]) refuseAll(requests []*pendingRequest, reason admit.Reason) {
+	for _, req := range requests {
+		d.refuse(req, d.refusal(reason, req.request.Pool))
 	}
 }
 
-// counted is what countSlots remembers of an instance.
-type counted struct {
+// countedInstance holds the values with which countSlots counted an instance.
+type countedInstance struct {
 	pool  model.Pool
 	slots int
 	// zone is empty unless the instance serves.
 	zone model.Zone
 }
 
-// countSlots keeps the number of instances by pool and slots.
+// countSlots updates slotCounts and servingByZone for a changed instance; i is zero
+// when the instance was removed.
 func (d *Dispatcher[P, Q, L]) countSlots(id model.InstanceID, i model.Instance) {
-	if old, ok := d.counted[id]; ok {
-		d.slots[old.pool][old.slots]--
-		if d.slots[old.pool][old.slots] == 0 {
-			delete(d.slots[old.pool], old.slots)
+	if old, ok := d.countedInstances[id]; ok {
+		d.slotCounts[old.pool][old.slots]--
+		if d.slotCounts[old.pool][old.slots] == 0 {
+			delete(d.slotCounts[old.pool], old.slots)
 		}
-		delete(d.counted, id)
+		delete(d.countedInstances, id)
 		d.countZone(old, -1)
 	}
 	if i.ID == "" || i.Phase == model.PhaseRetired {
 		return
 	}
-	if d.slots[i.Pool] == nil {
-		d.slots[i.Pool] = map[int]int{}
+	if d.slotCounts[i.Pool] == nil {
+		d.slotCounts[i.Pool] = map[int]int{}
 	}
-	d.slots[i.Pool][i.Slots]++
-	c := counted{pool: i.Pool, slots: i.Slots}
+	d.slotCounts[i.Pool][i.Slots]++
+	c := countedInstance{pool: i.Pool, slots: i.Slots}
 	if i.Phase == model.PhaseServing {
 		c.zone = i.Zone
 	}
-	d.counted[id] = c
+	d.countedInstances[id] = c
 	d.countZone(c, 1)
 }
 
-func (d *Dispatcher[P, Q, L]) countZone(c counted, n int) {
+// countZone adds n to the number of serving instances in the zone of c.
+func (d *Dispatcher[P, Q, L]) countZone(c countedInstance, n int) {
 	if c.zone == "" {
 		return
 	}
-	if d.spread[c.pool] == nil {
-		d.spread[c.pool] = map[model.Zone]int{}
+	if d.servingByZone[c.pool] == nil {
+		d.servingByZone[c.pool] = map[model.Zone]int{}
 	}
-	d.spread[c.pool][c.zone] += n
-	if d.spread[c.pool][c.zone] == 0 {
-		delete(d.spread[c.pool], c.zone)
+	d.servingByZone[c.pool][c.zone] += n
+	if d.servingByZone[c.pool][c.zone] == 0 {
+		delete(d.servingByZone[c.pool], c.zone)
 	}
 }
 
 // slotsOf returns the slots of the smallest instance of a pool, by the rule of
-// limits.LowestSlots: the concurrency must fit whichever instances are in
-// service. It depends on the table alone, so all entry processes at one version
-// derive the same.
+// limits.LowestSlots: the derived concurrency must fit whichever instances are in
+// service. It depends on the table alone, so that all entry processes at the same
+// version derive the same limits.
 func (d *Dispatcher[P, Q, L]) slotsOf(p model.Pool) int {
-	if len(d.slots[p]) == 0 {
+	if len(d.slotCounts[p]) == 0 {
 		return admit.DefaultSlots
 	}
-	return slices.Min(slices.Collect(maps.Keys(d.slots[p])))
+	return slices.Min(slices.Collect(maps.Keys(d.slotCounts[p])))
 }
 
-func (d *Dispatcher[P, Q, L]) hear(now clock.Millis, h member.ReceivedAnnouncement) error {
-	before, known := d.roster.Get(h.Announcement.Instance)
-	changed, err := d.roster.Accept(now, h)
+// receiveAnnouncement handles an announcement of an upstream.
+func (d *Dispatcher[P, Q, L]) receiveAnnouncement(now clock.Millis, h member.ReceivedAnnouncement) error {
+	previous, known := d.announcements.Get(h.Announcement.Instance)
+	changed, err := d.announcements.Accept(now, h)
 	if err != nil {
 		return &Error{Op: "announce", Kind: KindAnnounce, Err: err}
 	}
@@ -236,23 +246,24 @@
 	if a.State == model.AnnounceLeaving {
 		e.Kind = model.EventUpstreamLeft
 	}
-	if !known || before.Announcement != a || before.Expired {
+	if !known || previous.Announcement != a || previous.Expired {
 		d.event(e)
 	}
-	d.pumpAll(now)
+	d.startAllWaiting(now)
 	return nil
 }
 
+// status returns a copy of the state.
 func (d *Dispatcher[P, Q, L]) status() Status {
 	s := Status{
 		Version: d.table.Version,
 		Drained: d.router.DrainedVersion(),
 		Ready:   d.ready,
-		Pauses:  d.roster.Pauses,
+		Pauses:  d.announcements.Pauses,
 		Counts:  d.counts,
 		Loans:   d.loans.Counts,
 	}
-	d.gate.EachCustomer(func(a *admit.CustomerState[*ask]) {
+	d.admission.EachCustomer(func(a *admit.CustomerState[*pendingRequest]) {
 		s.Customers = append(s.Customers, CustomerStatus{
 			Customer: a.Name, InFlightLimit: a.Limit.MaxInFlight, QueueLimit: a.Limit.MaxQueued,
 			Running: a.Running, Waiting: a.Waiting, RetryTokens: a.RetryTokens,
--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -10,8 +10,9 @@
 	"camphorridge/core/state/route"
 )
 
-// Demand returns what is asked of each pool at this moment, in order of the
-// pools. Its cost follows the number of upstreams and of the customers' pools.
+// Demand returns the current demand of each pool, sorted by pool: its running and
+// waiting requests, and those refused since the last call. Its cost is proportional
+// to the number of upstreams and of the customers' pools.
 func (d *Dispatcher[P, Q, L]) Demand() []model.PoolDemand {
 	return d.call(&command{op: opDemand}).demand
 }
@@ -21,7 +22,7 @@
 	of := func(p model.Pool) *model.PoolDemand {
 		x := byPool[p]
 		if x == nil {
-			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.gate.TypicalRunTime(p)}
+			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.admission.TypicalRunTime(p)}
 			byPool[p] = x
 		}
 		return x
@@ -36,15 +37,15 @@
 			of(h.Pool).Running += h.Running
 		}
 	})
-	d.gate.EachCustomer(func(a *admit.CustomerState[*ask]) {
+	d.admission.EachCustomer(func(a *admit.CustomerState[*pendingRequest]) {
 		if a.Waiting > 0 {
 			a.EachWaiting(func(p model.Pool, n int) { of(p).Waiting += n })
 		}
 	})
-	for p, n := range d.felt.turned {
+	for p, n := range d.load.refusedByPool {
 		of(p).Refused += n
 	}
-	clear(d.felt.turned)
+	clear(d.load.refusedByPool)
 	all := make([]model.PoolDemand, 0, len(byPool))
 	for _, x := range byPool {
 		all = append(all, *x)
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -17,17 +17,18 @@
 const (
 	// DefaultRingSize holds one message of each connection of a busy process.
 	DefaultRingSize = 4096
-	// batch is the number of messages handled under one reading of the clock.
-	batch = 64
-	// tickEvery bounds how late an expired waiter is answered.
-	tickEvery clock.Millis = 50
+	// batchSize is the largest number of messages handled per reading of the clock.
+	batchSize = 64
+	// tickInterval is the time between two checks for expired requests, and so the
+	// longest delay of their refusal.
+	tickInterval clock.Millis = 50
 )
 
-// messageKind tells the messages in the ring apart.
+// messageKind is the kind of a message in the ring.
 type messageKind uint8
 
 const (
-	messageAsk messageKind = iota
+	messageRequest messageKind = iota
 	messageCancel
 	messageDone
 	messageCommand
@@ -39,145 +40,154 @@
 	outcome Outcome
 	ticket  Ticket
 	elapsed clock.Millis
-	ask     *ask
+	request *pendingRequest
 	command *command
 }
 
-// ask is a request on its way through the dispatcher. The dispatcher answers
-// each ask exactly once.
-type ask struct {
+// pendingRequest is a request that waits for a grant or a refusal. The dispatcher
+// answers each exactly once.
+type pendingRequest struct {
 	request Request
-	// reply has room for the one answer, so that the dispatcher never waits.
+	// reply has capacity for the one answer, so that the dispatcher never blocks.
 	reply chan struct{}
 	// grant and refusal are set before reply is sent.
 	grant   Grant
 	refusal *Refusal
-	// waiter is owned by the dispatcher; nil unless the ask is queued.
-	waiter *admit.Waiter[*ask]
+	// waiter is owned by the dispatcher; nil unless the request is queued.
+	waiter *admit.Waiter[*pendingRequest]
 }
 
-// place is a reserved slot: of the own share, or of a loan when that is set.
-type place struct {
-	held route.Reservation
+// reservation is a reserved slot: of a loan when loan is set, and otherwise of
+// this process's own share.
+type reservation struct {
+	own  route.Reservation
 	loan *lend.HeldLoan
 }
 
-// flight is a granted request.
-type flight struct {
-	line *admit.Queue[*ask]
-	place
+// activeGrant is a granted request that has not ended.
+type activeGrant struct {
+	queue *admit.Queue[*pendingRequest]
+	reservation
 	id string
-	// number makes the tickets of one place different over time.
+	// number is the upper half of the ticket. It grows with each use of the same
+	// element of Dispatcher.grants, so that old tickets are recognised.
 	number uint32
 }
 
-// Dispatcher is the duty that owns admission, routing and announcements.
+// Dispatcher owns admission, routing, loans and announcements. The state belongs
+// to Run's goroutine; other goroutines send it messages through a ring.
 type Dispatcher[P admit.Picker, Q route.Policy, L lend.Policy] struct {
-	cfg  Settings
-	clk  clock.Clock
-	in   *ring.Ring[message]
-	done chan struct{}
-	stop sync.Once
-	asks sync.Pool
-	// drained and serving are copies of the state for other goroutines.
-	drained atomic.Uint64
-	serving atomic.Bool
-	gate    *admit.Controller[P, *ask]
-	router  *route.Router[Q]
-	roster  *member.Roster
-	loans   *lend.Ledger[L]
-	// borrowing holds the pools with loans, for the time line.
+	cfg         Settings
+	clk         clock.Clock
+	in          *ring.Ring[message]
+	done        chan struct{}
+	stop        sync.Once
+	requestPool sync.Pool
+	// publishedDrained and publishedReady are copies of the state for other
+	// goroutines.
+	publishedDrained atomic.Uint64
+	publishedReady   atomic.Bool
+	admission        *admit.Controller[P, *pendingRequest]
+	router           *route.Router[Q]
+	announcements    *member.Roster
+	loans            *lend.Ledger[L]
+	// borrowing holds the pools with held loans, to report changes as events.
 	borrowing map[model.Pool]bool
-	// rolled is the time of the last Roll of the router.
-	rolled clock.Millis
-	needs  []lend.PoolDemand
-	orders []lend.Message
-	stocks []lend.UpstreamSlots
-	table  model.Table
+	// peaksRolledAt is the time at which the router last started a new peak window.
+	peaksRolledAt clock.Millis
+	needs         []lend.PoolDemand
+	loanMessages  []lend.Message
+	ownSlots      []lend.UpstreamSlots
+	table         model.Table
 	// ready is false before the first table, and after a pause of this process
-	// until the table was read again.
+	// until the table is confirmed.
 	ready bool
-	// rank and count divide contracts over the entry processes.
-	rank, count int
-	// slots counts the instances of each pool by their number of slots.
-	slots   map[model.Pool]map[int]int
-	counted map[model.InstanceID]counted
-	// spread counts the serving instances of each pool by zone.
-	spread  map[model.Pool]map[model.Zone]int
-	flights []flight
-	free    []uint32
-	counts  Counts
-	felt    tally
-	late    []*ask
-	pools   []model.Pool
-	lapsed  []member.Record
-	back    []*route.Upstream
-	// refusals counts what was refused since reported; only for customers and
-	// pools of contracts, so their number is bounded.
-	refusals map[refused]int
-	reported clock.Millis
+	// processRank and processCount determine this process's share of contracts.
+	processRank, processCount int
+	// slotCounts counts the instances of each pool by their number of slots.
+	slotCounts map[model.Pool]map[int]int
+	// countedInstances holds how each instance is counted in slotCounts and
+	// servingByZone.
+	countedInstances map[model.InstanceID]countedInstance
+	// servingByZone counts the serving instances of each pool by zone.
+	servingByZone map[model.Pool]map[model.Zone]int
+	// grants holds the active grants by the index in their tickets, and freeGrants
+	// the unused indexes.
+	grants     []activeGrant
+	freeGrants []uint32
+	counts     Counts
+	load       loadCounters
+	// expired, pools, expiredAnnouncements and restored are reused buffers.
+	expired              []*pendingRequest
+	pools                []model.Pool
+	expiredAnnouncements []member.Record
+	restored             []*route.Upstream
+	// refusals counts the refusals since refusalsReportedAt. Only customers and
+	// pools of contracts are counted, so the size is bounded.
+	refusals           map[refusalKey]int
+	refusalsReportedAt clock.Millis
 }
 
-// New returns a dispatcher that is not running yet.
+// New returns a dispatcher. It handles requests only while Run is running.
 func New[P admit.Picker, Q route.Policy, L lend.Policy](cfg Settings, clk clock.Clock, picker P, policy Q, lending L) *Dispatcher[P, Q, L] {
 	if cfg.RingSize <= 0 {
 		cfg.RingSize = DefaultRingSize
 	}
-	var all, near []model.Process
+	var all, sameZone []model.Process
 	for _, m := range cfg.Entries {
 		all = append(all, m.Name)
 		if m.Zone == cfg.Zone {
-			near = append(near, m.Name)
+			sameZone = append(sameZone, m.Name)
 		}
 	}
 	d := &Dispatcher[P, Q, L]{
-		cfg:       cfg,
-		clk:       clk,
-		in:        ring.New[message](cfg.RingSize),
-		done:      make(chan struct{}),
-		gate:      admit.New[P, *ask](picker),
-		felt:      newTally(),
-		roster:    member.New(member.Settings{Zone: cfg.Zone, Lease: cfg.Lease}, clk.Now()),
-		refusals:  map[refused]int{},
-		slots:     map[model.Pool]map[int]int{},
-		counted:   map[model.InstanceID]counted{},
-		spread:    map[model.Pool]map[model.Zone]int{},
-		loans:     lend.New(cfg.Lending, lending, clk.Now()),
-		borrowing: map[model.Pool]bool{},
+		cfg:              cfg,
+		clk:              clk,
+		in:               ring.New[message](cfg.RingSize),
+		done:             make(chan struct{}),
+		admission:        admit.New[P, *pendingRequest](picker),
+		load:             newLoadCounters(),
+		announcements:    member.New(member.Settings{Zone: cfg.Zone, Lease: cfg.Lease}, clk.Now()),
+		refusals:         map[refusalKey]int{},
+		slotCounts:       map[model.Pool]map[int]int{},
+		countedInstances: map[model.InstanceID]countedInstance{},
+		servingByZone:    map[model.Pool]map[model.Zone]int{},
+		loans:            lend.New(cfg.Lending, lending, clk.Now()),
+		borrowing:        map[model.Pool]bool{},
 		table: model.Table{
 			Contracts: map[model.Customer]model.Contract{},
 			Instances: map[model.InstanceID]model.Instance{},
 		},
 	}
-	d.rank, d.count = admit.Rank(all, cfg.Self)
-	zoneRank, zoneCount := admit.Rank(near, cfg.Self)
+	d.processRank, d.processCount = admit.Rank(all, cfg.Self)
+	zoneRank, zoneCount := admit.Rank(sameZone, cfg.Self)
 	d.router = route.New(route.Settings{
 		Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount,
 		Lending: d.loans.Enabled(), ReservePercent: cfg.Lending.ReservePercent,
 	}, policy)
 	d.router.LoansUncertain = d.loans.Quarantined(clk.Now())
-	d.asks.New = func() any { return &ask{reply: make(chan struct{}, 1)} }
+	d.requestPool.New = func() any { return &pendingRequest{reply: make(chan struct{}, 1)} }
 	return d
 }
 
-// Run is the duty's loop; it returns after Stop.
+// Run is the event loop; it returns after Stop.
 func (d *Dispatcher[P, Q, L]) Run() error {
-	buf := make([]message, 0, batch)
-	tick := d.clk.After(tickEvery)
+	buf := make([]message, 0, batchSize)
+	tick := d.clk.After(tickInterval)
 	for {
 		select {
 		case m := <-d.in.C():
-			buf = d.in.Drain(append(buf[:0], m), batch)
-			// The clock is read after the messages were taken, so that none is
-			// handled under a time before it was sent.
-			now := d.observe()
+			buf = d.in.Drain(append(buf[:0], m), batchSize)
+			// The clock is read after the messages were received, so that none is
+			// handled with a time before it was sent.
+			now := d.readClock()
 			for i := range buf {
 				d.handle(now, buf[i])
 				buf[i] = message{}
 			}
 		case <-tick:
-			d.tick(d.observe())
-			tick = d.clk.After(tickEvery)
+			d.tick(d.readClock())
+			tick = d.clk.After(tickInterval)
 		case <-d.done:
 			return nil
 		}
@@ -185,19 +195,20 @@
 	}
 }
 
-// publish copies what other goroutines read without a message.
+// publish updates the values that other goroutines read without a message.
 func (d *Dispatcher[P, Q, L]) publish() {
-	d.drained.Store(uint64(d.router.DrainedVersion()))
-	d.serving.Store(d.ready)
+	d.publishedDrained.Store(uint64(d.router.DrainedVersion()))
+	d.publishedReady.Store(d.ready)
 }
 
-// Stop ends the duty. Asks that wait are refused.
+// Stop ends Run. Waiting requests are refused.
 func (d *Dispatcher[P, Q, L]) Stop() { d.stop.Do(func() { close(d.done) }) }
 
-// observe reads the clock and notices a pause of this process.
-func (d *Dispatcher[P, Q, L]) observe() clock.Millis {
+// readClock returns the current time. After a pause of this process it makes the
+// dispatcher not ready until the table is confirmed.
+func (d *Dispatcher[P, Q, L]) readClock() clock.Millis {
 	now := d.clk.Now()
-	if d.roster.Tick(now) {
+	if d.announcements.Tick(now) {
 		d.ready = false
 	}
 	return now
@@ -205,65 +216,66 @@
 
 func (d *Dispatcher[P, Q, L]) handle(now clock.Millis, m message) {
 	switch m.kind {
-	case messageAsk:
-		d.admit(now, m.ask)
+	case messageRequest:
+		d.admit(now, m.request)
 	case messageCancel:
-		d.cancel(m.ask)
+		d.cancel(m.request)
 	case messageDone:
-		d.end(now, m)
+		d.complete(now, m)
 	case messageCommand:
 		d.command(now, m.command)
 	}
 }
 
-// tick handles what only the passing of time changes.
+// tick handles what depends on time alone: expired leases and requests, restored
+// upstreams, loans and the report of refusals.
 func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
-	d.lapsed = d.roster.Expire(now, d.lapsed[:0])
-	for _, r := range d.lapsed {
+	d.expiredAnnouncements = d.announcements.Expire(now, d.expiredAnnouncements[:0])
+	for _, r := range d.expiredAnnouncements {
 		d.router.SetAnnouncement(now, r.Announcement, false)
 		d.event(model.Event{Kind: model.EventUpstreamGone, Instance: r.Announcement.Instance, Pool: r.Announcement.Pool, Limit: "lease"})
 	}
-	d.back = d.router.Restored(now, d.back[:0])
-	for _, u := range d.back {
+	d.restored = d.router.Restored(now, d.restored[:0])
+	for _, u := range d.restored {
 		d.event(model.Event{Kind: model.EventRestored, Instance: u.Instance, Pool: u.Pool})
 	}
-	d.late = d.gate.Expire(now, d.late[:0])
-	d.refuseLate()
-	d.pumpAll(now)
+	d.expired = d.admission.Expire(now, d.expired[:0])
+	d.refuseExpired()
+	d.startAllWaiting(now)
 	d.tickLoans(now)
-	d.report(now)
+	d.reportRefusals(now)
 }
 
-// pumpAll starts waiters wherever there is room, and refuses those of pools
-// that lost their last upstream.
-func (d *Dispatcher[P, Q, L]) pumpAll(now clock.Millis) {
-	d.pools = d.gate.WaitingPools(d.pools[:0])
+// startAllWaiting grants waiting requests of all pools with free slots, and refuses
+// those of pools that lost their last upstream.
+func (d *Dispatcher[P, Q, L]) startAllWaiting(now clock.Millis) {
+	d.pools = d.admission.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
 		if _, slots := d.router.Routable(p); slots == 0 && !d.mayBorrow(now, p) {
-			d.late = d.gate.Clear(p, d.late[:0])
-			for _, a := range d.late {
-				d.refuse(a, noUpstream(p))
+			d.expired = d.admission.Clear(p, d.expired[:0])
+			for _, req := range d.expired {
+				d.refuse(req, noUpstream(p))
 			}
 			continue
 		}
-		d.pump(now, p)
+		d.startWaiting(now, p)
 	}
 }
 
-// refused is what refusals are counted by.
-type refused struct {
+// refusalKey groups refusals for the event log.
+type refusalKey struct {
 	customer model.Customer
 	pool     model.Pool
 	reason   string
 }
 
-// report writes one event for each kind of refusal, at most once a second, so
-// that a flood of refusals does not push other events out of the time line.
-func (d *Dispatcher[P, Q, L]) report(now clock.Millis) {
-	if now-d.reported < clock.Second {
+// reportRefusals writes one event for each refusalKey, at most once a second, so
+// that many refusals don't displace other events from the bounded event log.
+func (d *Dispatcher[P, Q, L]) reportRefusals(now clock.Millis) {
+	if now-d.refusalsReportedAt < clock.Second {
 		return
 	}
-	d.reported = now
+	d.refusalsReportedAt = now
 	for k, n := range d.refusals {
 		d.event(model.Event{
 			Kind: model.EventRefused, Customer: k.customer, Pool: k.pool, Limit: k.reason,
@@ -273,6 +285,7 @@
 	}
 }
 
+// event writes an event to the event log.
 func (d *Dispatcher[P, Q, L]) event(e model.Event) {
 	if d.cfg.Events != nil {
 		e.Process = d.cfg.Self
--- a/core/coord/entry/doc.go
+++ b/core/coord/entry/doc.go
@@ -1,3 +1,3 @@
-// Package entry holds the duties of an entry process. The dispatcher owns
-// admission, routing and the announcements of the zone.
+// Package entry holds the dispatcher of an entry process, which owns admission,
+// routing and the announcements of the upstreams in its zone.
 package entry
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -19,8 +19,8 @@
 
 type dispatcher = Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
-// start runs a dispatcher with a pool svc of two upstreams with the given
-// slots.
+// start runs a dispatcher with a pool svc of two upstreams, each with the given
+// number of slots.
 func start(t testing.TB, slots int, contracts ...model.Contract) *dispatcher {
 	t.Helper()
 	return startOn(t, clock.Real(), slots, contracts...)
@@ -79,7 +79,8 @@
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
 }
 
-// Guards against waiters that are not started when a slot becomes free.
+// TestWaiterGetsTheFreedSlot guards against waiting requests that are not granted
+// when a slot becomes free.
 func TestWaiterGetsTheFreedSlot(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
 	first, second := must(t, d), must(t, d)
@@ -92,10 +93,11 @@
 	assert.Equal(t, third.Upstream, first.Upstream)
 	// A second Done for a ticket changes nothing.
 	d.Done(first.Ticket, OutcomeOK, 1)
-	until(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
+	until(t, "unknown ticket counted", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
 }
 
-// Guards against slots that are lost when callers give up at any moment.
+// TestCancelLosesNoSlot guards against slots that are never freed because the
+// caller cancelled the request at some moment.
 func TestCancelLosesNoSlot(t *testing.T) {
 	d := start(t, 2, contract("acme", 3, 50))
 	var wg sync.WaitGroup
@@ -120,7 +122,8 @@
 	assert.Equal(t, s.Counts.Requests, s.Counts.Grants+s.Counts.Refused)
 }
 
-// Guards against refusals that are late, or that name the wrong reason.
+// TestRefusals guards against requests that wait instead of being refused, and
+// against refusals with the wrong kind.
 func TestRefusals(t *testing.T) {
 	d := start(t, 1, contract("acme", 1, 0), contract("idle", 0, 0))
 	g := must(t, d)
@@ -155,7 +158,8 @@
 	assert.Equal(t, f.Kind, RefusalNotReady)
 }
 
-// Guards against waiters that hang when their pool loses its last upstream.
+// TestWaitersOfAnEmptyPoolAreRefused guards against waiting requests that are never
+// answered when their pool loses its last upstream.
 func TestWaitersOfAnEmptyPoolAreRefused(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
 	must(t, d)
@@ -174,7 +178,8 @@
 	assert.Equal(t, (<-got).Kind, RefusalCapacity)
 }
 
-// Guards against a full ring that blocks callers or is not told.
+// TestFullRingRefuses guards against a full ring that blocks callers or is not
+// counted.
 func TestFullRingRefuses(t *testing.T) {
 	d := New(Settings{Self: "e1", Zone: "z1", RingSize: 2}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
@@ -185,8 +190,8 @@
 	assert.Equal(t, d.in.Refused(), int64(1))
 }
 
-// Guards against a table that goes back, and against a release confirmed while
-// a request still uses the instance.
+// TestTableAndDrained guards against a table that returns to an older version, and
+// against confirming a release while a request still uses the instance.
 func TestTableAndDrained(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
 	assert.Equal(t, d.Drained(), model.Version(5))
@@ -203,15 +208,16 @@
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	until(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
-	// A full table that no longer names the instance in use releases it.
+	// A full delta without the instance in use releases it.
 	assert.NilError(t, d.ApplyDelta(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
 	assert.Equal(t, d.Drained(), model.Version(8))
 	d.Done(other.Ticket, OutcomeOK, 1)
 	until(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
 }
 
-// Guards against a process that was stopped serving by an old table, and
-// against one that takes all upstreams for dead when it wakes up.
+// TestPauseNeedsTheTableAgain guards against a suspended process that resumes with
+// an outdated table, and against one that treats all upstreams as gone when it
+// resumes.
 func TestPauseNeedsTheTableAgain(t *testing.T) {
 	fake := clock.NewFake(1000)
 	d := startOn(t, fake.Clock(), 4, contract("acme", 10, 10))
@@ -223,18 +229,19 @@
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 5}))
 	assert.Assert(t, d.Ready())
 	must(t, d)
-	// Without announcements the grace ends after one lease.
+	// Without announcements the upstreams expire one lease after the pause.
 	for range 62 {
 		fake.Advance(clock.Second)
 		until(t, "tick", func(s Status) bool { return s.Pauses == 1 }, d)
 	}
-	until(t, "lapsed", func(Status) bool {
+	until(t, "expired", func(Status) bool {
 		_, f := try(t.Context(), d)
 		return f != nil && f.Kind == RefusalCapacity
 	}, d)
 }
 
-// Guards against a share of a contract that does not follow the instances.
+// TestDerivedConcurrencyFollowsSlots guards against a derived concurrency limit that
+// is not updated when the instances' slots change.
 func TestDerivedConcurrencyFollowsSlots(t *testing.T) {
 	c := contract("acme", 0, 1)
 	c.Pools[0].Instances = 3
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -8,37 +8,37 @@
 	"camphorridge/core/state/model"
 )
 
-// Lend answers another entry process that asks for slots.
-func (d *Dispatcher[P, Q, L]) Lend(a lend.LoanRequest) (out lend.LoanResponse) {
-	d.onLoans(func(now clock.Millis) {
-		waiting := d.gate.RunnableCount(a.Pool)
-		d.stocks = d.router.PoolUpstreamSlots(now, a.Pool, waiting, d.stocks[:0])
-		out = d.loans.Grant(now, a, d.stocks, func(id model.InstanceID) (lend.UpstreamSlots, bool) {
-			return d.router.UpstreamSlots(id, d.gate.RunnableCount)
+// Lend answers a loan request of another entry process.
+func (d *Dispatcher[P, Q, L]) Lend(r lend.LoanRequest) (response lend.LoanResponse) {
+	d.withLoans(func(now clock.Millis) {
+		waiting := d.admission.RunnableCount(r.Pool)
+		d.ownSlots = d.router.PoolUpstreamSlots(now, r.Pool, waiting, d.ownSlots[:0])
+		response = d.loans.Grant(now, r, d.ownSlots, func(id model.InstanceID) (lend.UpstreamSlots, bool) {
+			return d.router.UpstreamSlots(id, d.admission.RunnableCount)
 		})
 	})
-	return out
+	return response
 }
 
-// TakeBack takes in loans that another entry process returns.
+// TakeBack handles the return of loans by another entry process.
 func (d *Dispatcher[P, Q, L]) TakeBack(r lend.Return) {
-	d.onLoans(func(clock.Millis) { d.loans.HandleReturn(r) })
+	d.withLoans(func(clock.Millis) { d.loans.HandleReturn(r) })
 }
 
-// Recalled ends the loans from an earlier run of a lender and reports whether
-// all of them are over.
+// Recalled handles the recall of loans by a lender that was restarted. It ends the
+// loans from the lender's earlier runs and reports whether all of them have ended.
 func (d *Dispatcher[P, Q, L]) Recalled(r lend.Recall) (clear bool) {
-	d.onLoans(func(clock.Millis) { clear = d.loans.HandleRecall(r) })
+	d.withLoans(func(clock.Millis) { clear = d.loans.HandleRecall(r) })
 	return clear
 }
 
-// Answered takes in the answer to an order to ask, sent at asked; ok is false
-// without one.
-func (d *Dispatcher[P, Q, L]) Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
-	d.onLoans(func(now clock.Millis) {
+// HandleResponse handles the response a to the loan request o that was sent at
+// asked; ok is false when there was no response.
+func (d *Dispatcher[P, Q, L]) HandleResponse(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
+	d.withLoans(func(now clock.Millis) {
 		d.loans.HandleResponse(now, o, asked, a, ok)
 		for _, l := range a.Loans {
-			// The own table may be newer than the lender's.
+			// This process's table may be newer than the lender's.
 			if i, known := d.table.Instances[l.Instance]; known {
 				d.loans.EndLoansOf(i)
 			}
@@ -46,33 +46,35 @@
 	})
 }
 
-// Returned notes how an order to return loans ended.
-func (d *Dispatcher[P, Q, L]) Returned(o lend.Message, ok bool) {
-	d.onLoans(func(clock.Millis) { d.loans.HandleReturnResult(o, ok) })
+// HandleReturnResult records whether the return of loans in o was received.
+func (d *Dispatcher[P, Q, L]) HandleReturnResult(o lend.Message, ok bool) {
+	d.withLoans(func(clock.Millis) { d.loans.HandleReturnResult(o, ok) })
 }
 
-// Acknowledged notes that a process holds no loan of an earlier run of this
-// one.
-func (d *Dispatcher[P, Q, L]) Acknowledged(from model.Process) {
-	d.onLoans(func(clock.Millis) { d.loans.HandleRecallAck(from) })
+// HandleRecallAck records that the process from holds no loans of an earlier run of
+// this process.
+func (d *Dispatcher[P, Q, L]) HandleRecallAck(from model.Process) {
+	d.withLoans(func(clock.Millis) { d.loans.HandleRecallAck(from) })
 }
 
-// Leave ends the loans held and returns the orders that give them back.
-func (d *Dispatcher[P, Q, L]) Leave() (orders []lend.Message) {
-	d.onLoans(func(now clock.Millis) { orders = d.loans.ReturnAll(now) })
-	return orders
+// ReturnAllLoans ends all held loans and returns the messages that return them to
+// their lenders.
+func (d *Dispatcher[P, Q, L]) ReturnAllLoans() (messages []lend.Message) {
+	d.withLoans(func(now clock.Millis) { messages = d.loans.ReturnAll(now) })
+	return messages
 }
 
-// onLoans runs f in the duty and puts what it changed in force.
-func (d *Dispatcher[P, Q, L]) onLoans(f func(now clock.Millis)) {
+// withLoans runs f in the event loop and then applies changed loans to the router
+// and to waiting requests.
+func (d *Dispatcher[P, Q, L]) withLoans(f func(now clock.Millis)) {
 	d.call(&command{op: opLoans, loans: func(now clock.Millis) {
 		f(now)
 		d.syncLoans(now)
-		d.pumpAll(now)
+		d.startAllWaiting(now)
 	}})
 }
 
-// syncLoans tells the router which own slots are lent.
+// syncLoans passes the number of lent slots of each upstream to the router.
 func (d *Dispatcher[P, Q, L]) syncLoans(now clock.Millis) {
 	d.router.LoansUncertain = d.loans.Quarantined(now)
 	d.loans.TakeChanges(func(id model.InstanceID, lent int) {
@@ -83,54 +85,55 @@
 	})
 }
 
-// peakSpan is the time over which the peaks of the own use are kept, once for
-// the present and once for the past.
-const peakSpan = clock.Second
+// peakWindow is the length of the windows in which the router measures the peak use
+// of own slots; it keeps the current and the previous window.
+const peakWindow = clock.Second
 
-// tickLoans hands out the messages that are due.
+// tickLoans ends expired loans and sends the loan messages that are due.
 func (d *Dispatcher[P, Q, L]) tickLoans(now clock.Millis) {
 	if !d.loans.Enabled() {
 		return
 	}
 	d.loans.Expire(now)
 	d.syncLoans(now)
-	if now-d.rolled >= peakSpan {
-		d.rolled = now
+	if now-d.peaksRolledAt >= peakWindow {
+		d.peaksRolledAt = now
 		d.router.RotatePeaks()
 	}
 	d.needs = d.needs[:0]
-	d.pools = d.gate.WaitingPools(d.pools[:0])
+	d.pools = d.admission.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
-		if n := d.gate.RunnableCount(p); n > 0 {
-			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.spread[p], Pressure: lend.Pressure{
-				Waiting: n, Capacity: d.room(now, p), TypicalRunTime: d.gate.TypicalRunTime(p),
+		if n := d.admission.RunnableCount(p); n > 0 {
+			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.servingByZone[p], Pressure: lend.Pressure{
+				Waiting: n, Capacity: d.capacity(now, p), TypicalRunTime: d.admission.TypicalRunTime(p),
 			}})
 		}
 	}
-	d.orders = d.loans.DueMessages(now, d.needs, d.orders[:0])
-	for i, o := range d.orders {
-		if !d.cfg.LoanMessages.TryPut(o) {
-			d.unsent(now, o)
+	d.loanMessages = d.loans.DueMessages(now, d.needs, d.loanMessages[:0])
+	for i, m := range d.loanMessages {
+		if !d.cfg.LoanMessages.TryPut(m) {
+			d.failMessage(now, m)
 		}
-		d.orders[i] = lend.Message{}
+		d.loanMessages[i] = lend.Message{}
 	}
-	d.noteBorrowing(now)
+	d.reportBorrowing(now)
 }
 
-// unsent ends an order that found a full ring as one without an answer.
-func (d *Dispatcher[P, Q, L]) unsent(now clock.Millis, o lend.Message) {
-	switch o.Kind {
+// failMessage handles a message that was not sent because the ring was full, as if
+// it had not been answered.
+func (d *Dispatcher[P, Q, L]) failMessage(now clock.Millis, m lend.Message) {
+	switch m.Kind {
 	case lend.MessageRequest:
-		d.loans.HandleResponse(now, o, now, lend.LoanResponse{}, false)
+		d.loans.HandleResponse(now, m, now, lend.LoanResponse{}, false)
 	case lend.MessageReturn:
-		d.loans.HandleReturnResult(o, false)
+		d.loans.HandleReturnResult(m, false)
 	case lend.MessageRecall:
 	}
 }
 
-// noteBorrowing writes an event when the first loan of a pool came or the last
-// one ended.
-func (d *Dispatcher[P, Q, L]) noteBorrowing(now clock.Millis) {
+// reportBorrowing writes an event when the first loan of a pool starts and when the
+// last one ends.
+func (d *Dispatcher[P, Q, L]) reportBorrowing(now clock.Millis) {
 	d.loans.EachPool(func(p model.Pool) {
 		slots := d.loans.BorrowedSlots(now, p)
 		if d.borrowing[p] != (slots > 0) {
@@ -140,61 +143,65 @@
 	})
 }
 
-// mayBorrow reports whether waiters of a pool without own slots may get some
-// from others.
+// mayBorrow reports whether waiting requests of a pool without own slots may get
+// slots from other processes.
 func (d *Dispatcher[P, Q, L]) mayBorrow(now clock.Millis, p model.Pool) bool {
-	return len(d.spread[p]) > 0 && d.loans.MayBorrow(now, p)
+	return len(d.servingByZone[p]) > 0 && d.loans.MayBorrow(now, p)
 }
 
-// room is the number of requests that own and borrowed slots run at once.
-func (d *Dispatcher[P, Q, L]) room(now clock.Millis, p model.Pool) int {
+// capacity returns the number of requests that can run at once on own and borrowed
+// slots of a pool.
+func (d *Dispatcher[P, Q, L]) capacity(now clock.Millis, p model.Pool) int {
 	return d.router.Capacity(now, p) + d.loans.BorrowedSlots(now, p)
 }
 
-// pick reserves a slot: of the own share, or of a loan when that has no room.
-func (d *Dispatcher[P, Q, L]) pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (place, bool) {
+// pick reserves a slot of this process's own share, or of a loan when the own share
+// has no free slot. The instance avoid is used only when no other has a free slot.
+func (d *Dispatcher[P, Q, L]) pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (reservation, bool) {
 	if h, ok := d.router.Reserve(now, p, avoid); ok {
-		return place{held: h}, true
+		return reservation{own: h}, true
 	}
 	loan, ok := d.loans.Acquire(now, p, avoid)
-	return place{loan: loan}, ok
+	return reservation{loan: loan}, ok
 }
 
-func (d *Dispatcher[P, Q, L]) unpick(now clock.Millis, at place) {
-	if at.loan != nil {
-		d.loans.Release(now, at.loan, false, false)
+// cancelPick undoes pick for a slot that was not used.
+func (d *Dispatcher[P, Q, L]) cancelPick(now clock.Millis, r reservation) {
+	if r.loan != nil {
+		d.loans.Release(now, r.loan, false, false)
 		d.loans.Counts.Used--
 		return
 	}
-	d.router.CancelReservation(at.held)
+	d.router.CancelReservation(r.own)
 }
 
-// leave gives a slot back and reports whether its upstream was ejected.
-func (d *Dispatcher[P, Q, L]) leave(now clock.Millis, at place, o Outcome) (ejected bool) {
-	if at.loan == nil {
-		return d.router.End(now, at.held, o)
+// release frees the slot of a request that ended with outcome o. It reports whether
+// the upstream was ejected because of it.
+func (d *Dispatcher[P, Q, L]) release(now clock.Millis, r reservation, o Outcome) (ejected bool) {
+	if r.loan == nil {
+		return d.router.End(now, r.own, o)
 	}
 	failed := o == OutcomeError || o == OutcomeUnknown || o == OutcomeTimeout
-	d.loans.Release(now, at.loan, failed, o == OutcomeConnect)
+	d.loans.Release(now, r.loan, failed, o == OutcomeConnect)
 	return false
 }
 
-func (at place) instance() model.InstanceID {
-	if at.loan != nil {
-		return at.loan.Instance
+func (r reservation) instance() model.InstanceID {
+	if r.loan != nil {
+		return r.loan.Instance
 	}
-	return at.held.Upstream.Instance
+	return r.own.Upstream.Instance
 }
 
-// upstream is where a request with the deadline goes.
-func (at place) upstream(deadline clock.Millis) Upstream {
-	if l := at.loan; l != nil {
+// upstream returns where a request with the given deadline is sent.
+func (r reservation) upstream(deadline clock.Millis) Upstream {
+	if l := r.loan; l != nil {
 		return Upstream{
 			Instance: l.Instance, Address: l.Address, Incarnation: l.Incarnation, HealthPath: l.HealthPath,
 			Connections: l.Connections, LoanName: l.ConnectionName(), WriteDeadline: deadline,
 		}
 	}
-	u := at.held.Upstream
+	u := r.own.Upstream
 	return Upstream{
 		Instance: u.Instance, Address: u.Address, Incarnation: u.Incarnation,
 		HealthPath: u.HealthPath, Connections: max(u.Connections, 1),
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -13,13 +13,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// startLending runs a dispatcher of zone z1 or z2 with one upstream in z1.
+// startLending runs a dispatcher in zone z1 or z2 with one upstream in z1, and
+// returns it with the ring of its loan messages.
 func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Ring[lend.Message]) {
 	t.Helper()
 	all := []model.Member{{Name: "e1", Zone: "z1"}, {Name: "e2", Zone: "z2"}}
-	orders := ring.New[lend.Message](16)
+	messages := ring.New[lend.Message](16)
 	d := New(Settings{
-		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, LoanMessages: orders,
+		Self: self, Zone: zone, Entries: all, Lease: clock.Minute, LoanMessages: messages,
 		Lending: lend.Settings{
 			Self: self, Zone: zone, Entries: all, Incarnation: 1, Lease: clock.Minute, MaxRequestTime: clock.Minute, ReservePercent: 25,
 		},
@@ -30,10 +31,10 @@
 	i := instance("ia", 4)
 	i.Connections = 8
 	assert.NilError(t, d.ApplyDelta(model.Delta{To: 5, Full: true, Contracts: []model.Contract{contract("acme", 20, 20)}, Instances: []model.Instance{i}}))
-	return d, orders
+	return d, messages
 }
 
-func nextOrder(o *ring.Ring[lend.Message], kind lend.MessageKind) lend.Message {
+func nextMessage(o *ring.Ring[lend.Message], kind lend.MessageKind) lend.Message {
 	for {
 		if next := <-o.C(); next.Kind == kind {
 			return next
@@ -41,22 +42,23 @@
 	}
 }
 
-// Guards against a lender that uses lent slots or confirms a release while
-// they are lent, or that does either before its earlier run's loans are over.
+// TestLenderKeepsLentSlots guards against a lender that uses lent slots or confirms
+// a release while slots of the instance are lent, and against one that lends slots
+// or confirms releases before the loans of its earlier run have ended.
 func TestLenderKeepsLentSlots(t *testing.T) {
-	d, orders := startLending(t, "e1", "z1")
+	d, messages := startLending(t, "e1", "z1")
 	a := announcement("ia", 4)
 	a.Connections = 8
 	assert.NilError(t, d.Announce(a))
-	ask := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
-	assert.Equal(t, len(d.Lend(ask).Loans), 0)
+	request := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
+	assert.Equal(t, len(d.Lend(request).Loans), 0)
 	assert.Equal(t, d.Drained(), model.Version(0))
-	nextOrder(orders, lend.MessageRecall)
-	d.Acknowledged("e2")
+	nextMessage(messages, lend.MessageRecall)
+	d.HandleRecallAck("e2")
 	assert.Equal(t, d.Drained(), model.Version(5))
 	g := must(t, d)
 	assert.Equal(t, g.Upstream.Connections, 4)
-	loans := d.Lend(ask).Loans
+	loans := d.Lend(request).Loans
 	assert.Equal(t, len(loans), 1)
 	assert.Equal(t, loans[0].Slots, 3)
 	assert.Equal(t, d.Snapshot().Upstreams[0].Lent, 3)
@@ -71,15 +73,16 @@
 	until(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
 }
 
-// Guards against a process without upstreams that refuses while it may
-// borrow, and against a loan that is used once its instance is released.
+// TestBorrowerServesOnALoan guards against a process without upstreams that refuses
+// requests although it may borrow slots, and against using a loan after its instance
+// was released.
 func TestBorrowerServesOnALoan(t *testing.T) {
-	d, orders := startLending(t, "e2", "z2")
+	d, messages := startLending(t, "e2", "z2")
 	got := make(chan Grant, 1)
 	go func() { got <- must(t, d) }()
-	o := nextOrder(orders, lend.MessageRequest)
+	o := nextMessage(messages, lend.MessageRequest)
 	assert.Equal(t, o.To, model.Process("e1"))
-	d.Answered(o, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
+	d.HandleResponse(o, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
 		{ID: lend.ID(o.Request.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
 	}}, true)
 	g := <-got
@@ -91,5 +94,5 @@
 	_, f := try(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	assert.DeepEqual(t, nextOrder(orders, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
+	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
 }
--- a/core/coord/entry/lookup.go
+++ b/core/coord/entry/lookup.go
@@ -10,18 +10,18 @@
 // table does not have it.
 func (d *Dispatcher[P, Q, L]) Instance(id model.InstanceID) (i model.Instance, ok bool) {
 	c := d.call(&command{op: opInstance, instance: model.Instance{ID: id}})
-	return c.instance, c.known
+	return c.instance, c.found
 }
 
-// LiveAnnouncements returns the announcements whose lease holds. Its cost follows the
-// number of upstreams in the zone.
+// LiveAnnouncements returns the announcements whose lease has not expired. Its cost
+// is proportional to the number of upstreams in the zone.
 func (d *Dispatcher[P, Q, L]) LiveAnnouncements() []model.Announcement {
-	return d.call(&command{op: opLive}).live
+	return d.call(&command{op: opLive}).liveAnnouncements
 }
 
 func (d *Dispatcher[P, Q, L]) live(now clock.Millis) []model.Announcement {
 	var all []model.Announcement
-	d.roster.Each(func(r *member.Record) {
+	d.announcements.Each(func(r *member.Record) {
 		if r.Live(now) {
 			all = append(all, r.Announcement)
 		}
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -10,70 +10,72 @@
 	"camphorridge/core/state/route"
 )
 
-// Kind tells the errors of the package apart.
+// Kind is the kind of an Error.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindStopped: the duty has ended.
+	// KindStopped: the dispatcher has stopped.
 	KindStopped Kind = iota
-	// KindVersion: the delta is older than the table or does not follow on it.
+	// KindVersion: the delta would lower the version of the table or doesn't start
+	// at it.
 	KindVersion
 	// KindAnnounce: the announcement was refused; Err is a *member.Error.
 	KindAnnounce
 )
 
-// Error is an error of the package.
+// Error is the error type of the package.
 type Error struct {
 	Op   string
 	Kind Kind
 	Err  error
 }
 
-// Error returns the operation and the reason.
+// Error returns the operation and the cause.
 func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
 
-// Unwrap returns the reason.
+// Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
 func fail(op string, k Kind, format string, args ...any) *Error {
 	return &Error{Op: op, Kind: k, Err: fmt.Errorf(format, args...)}
 }
 
-// Settings of a dispatcher.
+// Settings holds the settings of a dispatcher.
 type Settings struct {
 	Self model.Process
 	Zone model.Zone
-	// Entries are the configured entry processes of all zones, this one
-	// included.
+	// Entries lists the configured entry processes of all zones, including this
+	// one.
 	Entries []model.Member
-	// RingSize is the number of messages that may wait; 0 means DefaultRing.
+	// RingSize is the number of messages that can wait; 0 means DefaultRingSize.
 	RingSize int
 	// Lease is the lease of an announcement; 0 means member.DefaultLease.
 	Lease clock.Millis
-	// Events receives the events of the time line; nil drops them.
+	// Events receives events for the event log; when it is nil, events are dropped.
 	Events *ring.Ring[model.Event]
-	// Lending says how slots are lent; its zero value turns that off. Orders
-	// receives the messages to other entry processes and is needed otherwise.
-	Lending      lend.Settings
+	// Lending configures the lending of slots; the zero value disables it.
+	Lending lend.Settings
+	// LoanMessages receives the messages to other entry processes. It is required
+	// when lending is enabled.
 	LoanMessages *ring.Ring[lend.Message]
 }
 
-// Request asks for the right to send one request to an upstream.
+// Request describes a request for which a grant is asked.
 type Request struct {
 	Customer model.Customer
 	Pool     model.Pool
 	Deadline clock.Millis
 	ID       string
-	// Retry says that an earlier try was proven not to have run; it is paid
-	// from the customer's retry budget.
+	// Retry is set when an earlier attempt was proven not to have run. A retry
+	// uses the customer's retry budget.
 	Retry bool
-	// Avoid is the instance of the earlier try; it is taken only when no other
-	// has room.
+	// Avoid is the instance of the earlier attempt. It is used only when no other
+	// instance has a free slot.
 	Avoid model.InstanceID
 }
 
-// Ticket identifies a grant until its Done.
+// Ticket identifies a grant until Done is called for it.
 type Ticket uint64
 
 // Upstream is where a granted request goes.
@@ -82,13 +84,13 @@
 	Address     string
 	Incarnation uint64
 	HealthPath  string
-	// Connections is this process's share; at least 1.
+	// Connections is this process's share of the upstream's connections; at least 1.
 	Connections int
-	// LoanName names the loan that the slot belongs to; empty for the own share.
-	// The connections of each loan are apart from all others.
+	// LoanName is the name of the loan that the slot belongs to; empty for a slot
+	// of this process's own share. Each loan has connections of its own.
 	LoanName string
-	// WriteDeadline is the time from which no byte of the request may be written; 0 for
-	// a slot of the own share.
+	// WriteDeadline is the time from which no byte of the request may be written; 0
+	// for a slot of this process's own share.
 	WriteDeadline clock.Millis
 }
 
@@ -98,7 +100,7 @@
 	Upstream Upstream
 }
 
-// RefusalKind tells the refusals apart. No refused request has run.
+// RefusalKind is the kind of a Refusal. No refused request has run.
 type RefusalKind int
 
 // The kinds of refusal.
@@ -107,27 +109,27 @@
 	RefusalNoContract RefusalKind = iota
 	// RefusalLimit: a limit of the contract is reached.
 	RefusalLimit
-	// RefusalDeadline: the request cannot end in time.
+	// RefusalDeadline: the request can't finish before its deadline.
 	RefusalDeadline
 	// RefusalCapacity: no upstream of the pool is available here.
 	RefusalCapacity
-	// RefusalNotReady: this process has no valid table.
+	// RefusalNotReady: this process has no confirmed table, or is stopping.
 	RefusalNotReady
 	// RefusalBusy: the ring of the dispatcher is full.
 	RefusalBusy
-	// RefusalCancelled: the caller gave up.
+	// RefusalCancelled: the caller's context was cancelled.
 	RefusalCancelled
 )
 
-// Refusal says why a request was not run.
+// Refusal is the reason why a request was not granted.
 type Refusal struct {
 	Kind   RefusalKind
 	Reason string
-	// RetryAfter is the time after which a retry is reasonable; 0 for never.
+	// RetryAfter is the delay after which a retry is reasonable; 0 for never.
 	RetryAfter clock.Millis
 }
 
-// Outcome is how a granted request ended.
+// Outcome says how a granted request ended.
 type Outcome = route.Outcome
 
 // The outcomes, as in package route.
@@ -141,16 +143,16 @@
 	OutcomeCancelled = route.OutcomeCancelled
 )
 
-// Counts are the counters of a dispatcher; they only grow.
+// Counts holds the counters of a dispatcher; they only grow.
 type Counts struct {
 	Requests, Grants, Queued, Refused, Cancelled, Expired, Completed, UnknownTickets, Retries int64
-	// RingRefused is the number of asks that the full ring turned away.
+	// RingRefused counts the requests that were refused because the ring was full.
 	RingRefused int64
-	// Ejections is the number of ejections of upstreams.
+	// Ejections counts the ejections of upstreams.
 	Ejections int64
 }
 
-// CustomerStatus is the state of one customer in this process.
+// CustomerStatus holds the limits of one customer in this process and their use.
 type CustomerStatus struct {
 	Customer                  model.Customer
 	InFlightLimit, QueueLimit int
@@ -161,9 +163,10 @@
 
 // Status is a copy of the dispatcher's state.
 type Status struct {
-	Version   model.Version
-	Drained   model.Version
-	Ready     bool
+	Version model.Version
+	Drained model.Version
+	Ready   bool
+	// Pauses counts the detected pauses of this process.
 	Pauses    int
 	Counts    Counts
 	Customers []CustomerStatus
--- /dev/null
+++ b/core/coord/lender/sender.go
@@ -0,0 +1,201 @@
+package lender
+
+import (
+	"context"
+	"sync"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/lend"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/ring"
+)
+
+// Limits and timeouts of the sender.
+const (
+	// peerRing is the ring size per process. It is larger than the number of
+	// messages to one process that a ledger can have in flight.
+	peerRing = 16
+	// callTimeout is the limit for one message. It is far below the remaining
+	// lease of a loan at the time of its renewal.
+	callTimeout clock.Millis = 250
+	// closeAttempts and closeRetryDelay limit the wait for connections whose last
+	// response was just read.
+	closeAttempts                = 5
+	closeRetryDelay clock.Millis = 5
+)
+
+// Peers sends messages to other entry processes. An error means that no response
+// was received.
+type Peers interface {
+	// Lend asks for loans, new ones or renewals.
+	Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error)
+	// Return gives loans back to their lender.
+	Return(ctx context.Context, to model.Member, r lend.Return) error
+	// Recall asks a borrower to end the loans of this process's earlier runs. clear
+	// is true when it holds none any more.
+	Recall(ctx context.Context, to model.Member, r lend.Recall) (clear bool, err error)
+}
+
+// LoanLedger receives the results of the messages.
+type LoanLedger interface {
+	// HandleResponse handles the response a to the loan request o that was sent at
+	// asked; ok is false when there was no response.
+	HandleResponse(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool)
+	// HandleReturnResult records whether the return in o was received.
+	HandleReturnResult(o lend.Message, ok bool)
+	// HandleRecallAck records that the process from holds no loans of this process's
+	// earlier runs.
+	HandleRecallAck(from model.Process)
+	// ReturnAllLoans ends all held loans and returns the messages that return them
+	// to their lenders.
+	ReturnAllLoans() []lend.Message
+}
+
+// Connections closes the connections of loans.
+type Connections interface {
+	// Close closes the idle connections of the loan with the given name. It reports
+	// whether none is left.
+	Close(name string) bool
+}
+
+// Sender sends the loan messages that the owner of the ledger puts into its ring.
+type Sender[P Peers, B LoanLedger, L Connections] struct {
+	in          *ring.Ring[lend.Message]
+	peers       P
+	ledger      B
+	connections L
+	clock       clock.Clock
+	to          map[model.Process]peer
+	done        chan struct{}
+	ended       chan struct{}
+}
+
+// peer is an entry process with the ring of the messages to it.
+type peer struct {
+	member model.Member
+	in     *ring.Ring[lend.Message]
+}
+
+// New returns a sender that reads messages from in.
+func New[P Peers, B LoanLedger, L Connections](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
+	s := &Sender[P, B, L]{
+		in: in, peers: p, ledger: b, connections: l, clock: c,
+		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
+	}
+	for _, e := range entries {
+		s.to[e.Name] = peer{member: e, in: ring.New[lend.Message](peerRing)}
+	}
+	return s
+}
+
+// Run sends messages until Stop, and then returns all held loans. Otherwise their
+// lenders would keep the slots idle until the loans expire, which takes longer than
+// the longest request.
+func (s *Sender[P, B, L]) Run() error {
+	defer close(s.ended)
+	var wg sync.WaitGroup
+	for _, p := range s.to {
+		wg.Go(func() { s.runPeer(p) })
+	}
+	s.dispatch()
+	wg.Wait()
+	for _, m := range s.ledger.ReturnAllLoans() {
+		wg.Go(func() { s.deliver(context.Background(), s.to[m.To].member, m) })
+	}
+	wg.Wait()
+	return nil
+}
+
+// dispatch distributes the messages to the rings of their receivers.
+func (s *Sender[P, B, L]) dispatch() {
+	for {
+		select {
+		case m := <-s.in.C():
+			if p, ok := s.to[m.To]; !ok || !p.in.TryPut(m) {
+				s.fail(m)
+			}
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// Stop ends Run and waits until it has returned, so that the ledger can be stopped
+// after it.
+func (s *Sender[P, B, L]) Stop() {
+	close(s.done)
+	<-s.ended
+}
+
+// Refused returns the number of messages that were not sent because a ring was full.
+func (s *Sender[P, B, L]) Refused() int64 {
+	n := s.in.Refused()
+	for _, p := range s.to {
+		n += p.in.Refused()
+	}
+	return n
+}
+
+func (s *Sender[P, B, L]) runPeer(p peer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		select {
+		case m := <-p.in.C():
+			s.deliver(ctx, p.member, m)
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// deliver sends one message and passes the result to the ledger. It first closes the
+// connections of loans that the message returns.
+func (s *Sender[P, B, L]) deliver(ctx context.Context, to model.Member, m lend.Message) {
+	if !s.closeConnections(m.CloseConnections) {
+		s.fail(m)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	// A lease is counted from before the request was sent, so that it ends here
+	// before it ends at the lender, however long the message takes.
+	asked := s.clock.Now()
+	switch m.Kind {
+	case lend.MessageRequest:
+		a, err := s.peers.Lend(ctx, to, m.Request)
+		s.ledger.HandleResponse(m, asked, a, err == nil)
+	case lend.MessageReturn:
+		s.ledger.HandleReturnResult(m, s.peers.Return(ctx, to, m.Return) == nil)
+	case lend.MessageRecall:
+		if clear, err := s.peers.Recall(ctx, to, m.Recall); err == nil && clear {
+			s.ledger.HandleRecallAck(m.To)
+		}
+	}
+}
+
+// closeConnections closes the connections of the named loans and reports whether
+// none is left. It tries at most closeAttempts times.
+func (s *Sender[P, B, L]) closeConnections(names []string) bool {
+	for attempt := 1; ; attempt++ {
+		open := false
+		for _, name := range names {
+			open = !s.connections.Close(name) || open
+		}
+		if !open || attempt == closeAttempts {
+			return !open
+		}
+		<-s.clock.After(closeRetryDelay)
+	}
+}
+
+// fail handles a message that was not sent as if it had not been answered.
+func (s *Sender[P, B, L]) fail(m lend.Message) {
+	switch m.Kind {
+	case lend.MessageRequest:
+		s.ledger.HandleResponse(m, s.clock.Now(), lend.LoanResponse{}, false)
+	case lend.MessageReturn:
+		s.ledger.HandleReturnResult(m, false)
+	case lend.MessageRecall:
+	}
+}
--- a/core/coord/lender/lender_test.go
+++ b/core/coord/lender/sender_test.go
@@ -15,9 +15,12 @@
 
 // fake stands in for the other processes, the ledger and the connections.
 type fake struct {
-	told   chan string
+	// results receives a line for each result that the ledger gets.
+	results chan string
+	// silent is closed when a request to the process named silent has been sent.
 	silent chan struct{}
-	open   int
+	// open is the number of connections that are open; each Close closes one.
+	open int
 }
 
 func (f *fake) Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
@@ -43,44 +46,45 @@
 	return f.open <= 0
 }
 
-func (f *fake) Answered(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
+func (f *fake) HandleResponse(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
 	switch {
 	case !ok:
-		f.told <- string(o.To) + " unanswered"
+		f.results <- string(o.To) + " unanswered"
 	case asked > 0 && a.Incarnation == o.Request.Number:
-		f.told <- string(o.To) + " answered"
+		f.results <- string(o.To) + " answered"
 	}
 }
 
-func (f *fake) Returned(o lend.Message, ok bool) {
+func (f *fake) HandleReturnResult(o lend.Message, ok bool) {
 	if ok && f.open <= 0 {
-		f.told <- string(o.To) + " returned"
+		f.results <- string(o.To) + " returned"
 	} else if !ok {
-		f.told <- string(o.To) + " not returned"
+		f.results <- string(o.To) + " not returned"
 	}
 }
 
-func (f *fake) Leave() []lend.Message {
+func (f *fake) ReturnAllLoans() []lend.Message {
 	return []lend.Message{{Kind: lend.MessageReturn, To: "a"}}
 }
 
-func (f *fake) Acknowledged(from model.Process) { f.told <- string(from) + " acknowledged" }
+func (f *fake) HandleRecallAck(from model.Process) { f.results <- string(from) + " acknowledged" }
 
-// Guards against a silent process that holds up the others, against a return
-// before the connections are closed, against orders whose end is not told, and
-// against loans that a stopped process leaves to their time.
-func TestOrders(t *testing.T) {
+// TestMessages guards against an unresponsive process that delays messages to the
+// others, against returning a loan before its connections are closed, against
+// messages without a reported result, and against a stopped process that doesn't
+// return its loans but lets them expire.
+func TestMessages(t *testing.T) {
 	in := ring.New[lend.Message](8)
-	f := &fake{told: make(chan string, 8), silent: make(chan struct{}), open: 3}
-	d := New(in, []model.Member{{Name: "silent"}, {Name: "a"}, {Name: "gone"}}, f, f, f, clock.Real())
+	f := &fake{results: make(chan string, 8), silent: make(chan struct{}), open: 3}
+	s := New(in, []model.Member{{Name: "silent"}, {Name: "a"}, {Name: "gone"}}, f, f, f, clock.Real())
 	ended := make(chan struct{})
-	go func() { _ = d.Run(); close(ended) }()
+	go func() { _ = s.Run(); close(ended) }()
 	in.TryPut(lend.Message{Kind: lend.MessageRequest, To: "silent"})
 	<-f.silent
 	expect := func(want string) {
 		t.Helper()
 		for got := ""; got != want; {
-			got = <-f.told
+			got = <-f.results
 			assert.Assert(t, got == want || got == "silent unanswered", "%s", got)
 		}
 	}
@@ -91,13 +95,13 @@
 	}
 	next(lend.Message{Kind: lend.MessageRequest, To: "a", Request: lend.LoanRequest{Number: 4}}, "a answered")
 	next(lend.Message{Kind: lend.MessageReturn, To: "a", CloseConnections: []string{"i#1"}}, "a returned")
-	f.open = closeTries + 1
+	f.open = closeAttempts + 1
 	next(lend.Message{Kind: lend.MessageReturn, To: "a", CloseConnections: []string{"i#1"}}, "a not returned")
 	next(lend.Message{Kind: lend.MessageRequest, To: "unknown"}, "unknown unanswered")
 	in.TryPut(lend.Message{Kind: lend.MessageRecall, To: "gone"})
 	next(lend.Message{Kind: lend.MessageRecall, To: "a"}, "a acknowledged")
 	f.open = 0
-	d.Stop()
+	s.Stop()
 	<-ended
 	expect("a returned")
 }
