Keep one-line accessors and test labels of packages entry and runner

The fields that Drained and Ready read are named drained and serving, so that the accessors fit on one line as before; labels of waits in tests have their old words.

--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -97,13 +97,11 @@
 
 // Drained returns the drained version: the highest version of the table such that
 // no request in flight uses an instance released at or below it.
-func (d *Dispatcher[P, Q, L]) Drained() model.Version {
-	return model.Version(d.publishedDrained.Load())
-}
+func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drained.Load()) }
 
 // Ready reports whether requests are admitted: a table was applied, and it was
 // confirmed after the last pause of this process.
-func (d *Dispatcher[P, Q, L]) Ready() bool { return d.publishedReady.Load() }
+func (d *Dispatcher[P, Q, L]) Ready() bool { return d.serving.Load() }
 
 // Snapshot returns a copy of the state. Its cost is proportional to the number of
 // customers and upstreams.
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -24,7 +24,7 @@
 	opInstance
 	opLive
 	opLoans
-	opLoadReport
+	opLoad
 	opDemand
 )
 
@@ -73,7 +73,7 @@
 		c.instance, c.found = d.table.Instances[c.instance.ID]
 	case opDemand:
 		c.demand = d.demand()
-	case opLoadReport:
+	case opLoad:
 		c.load = d.load.take()
 	case opLive:
 		c.liveAnnouncements = d.live(now)
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -83,14 +83,14 @@
 	done        chan struct{}
 	stop        sync.Once
 	requestPool sync.Pool
-	// publishedDrained and publishedReady are copies of the state for other
+	// drained and serving are copies of the state for other
 	// goroutines.
-	publishedDrained atomic.Uint64
-	publishedReady   atomic.Bool
-	admission        *admit.Controller[P, *pendingRequest]
-	router           *route.Router[Q]
-	announcements    *member.Roster
-	loans            *lend.Ledger[L]
+	drained       atomic.Uint64
+	serving       atomic.Bool
+	admission     *admit.Controller[P, *pendingRequest]
+	router        *route.Router[Q]
+	announcements *member.Roster
+	loans         *lend.Ledger[L]
 	// borrowing holds the pools with held loans, to report changes as events.
 	borrowing map[model.Pool]bool
 	// peaksRolledAt is the time at which the router last started a new peak window.
@@ -197,8 +197,8 @@
 
 // publish updates the values that other goroutines read without a message.
 func (d *Dispatcher[P, Q, L]) publish() {
-	d.publishedDrained.Store(uint64(d.router.DrainedVersion()))
-	d.publishedReady.Store(d.ready)
+	d.drained.Store(uint64(d.router.DrainedVersion()))
+	d.serving.Store(d.ready)
 }
 
 // Stop ends Run. Waiting requests are refused.
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -93,7 +93,7 @@
 	assert.Equal(t, third.Upstream, first.Upstream)
 	// A second Done for a ticket changes nothing.
 	d.Done(first.Ticket, OutcomeOK, 1)
-	until(t, "unknown ticket counted", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
+	until(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
 }
 
 // TestCancelLosesNoSlot guards against slots that are never freed because the
@@ -234,7 +234,7 @@
 		fake.Advance(clock.Second)
 		until(t, "tick", func(s Status) bool { return s.Pauses == 1 }, d)
 	}
-	until(t, "expired", func(Status) bool {
+	until(t, "lapsed", func(Status) bool {
 		_, f := try(t.Context(), d)
 		return f != nil && f.Kind == RefusalCapacity
 	}, d)
--- a/core/coord/entry/load.go
+++ b/core/coord/entry/load.go
@@ -78,6 +78,4 @@
 }
 
 // LoadReport returns the counts of requests since the last call.
-func (d *Dispatcher[P, Q, L]) LoadReport() model.LoadReport {
-	return d.call(&command{op: opLoadReport}).load
-}
+func (d *Dispatcher[P, Q, L]) LoadReport() model.LoadReport { return d.call(&command{op: opLoad}).load }
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -237,7 +237,7 @@
 		{"unknown path", submit("/other/a"), AnswerNoQueue},
 		{"longest prefix", Call{Kind: CallPending, Host: "h", Path: "/q/deep/"}, AnswerDone},
 		{"no job ID", submit("/q/"), AnswerInvalid},
-		{"gang", gang, AnswerDone},
+		{"job with a gang", gang, AnswerDone},
 		{"queue with advice", Call{Kind: CallSubmit, Host: "a", Path: "/x", Job: gang.Job}, AnswerDone},
 		{"cancel of an unknown job", Call{Kind: CallCancel, Host: "h", Path: "/q/none"}, AnswerNoJob},
 		{"cancel", Call{Kind: CallCancel, Host: "h", Path: "/q/a"}, AnswerDone},
