--- a/core/coord/claim/doc.go
+++ b/core/coord/claim/doc.go
@@ -1,4 +1,4 @@
-// Package claim is the duty of an entry process that claims idempotency keys
-// at the control group. It batches claims and outcomes, so that the cost of a
-// quorum write is shared by the requests that arrive together.
+// Package claim claims idempotency keys at the control group for an entry process.
+// It batches claims and outcomes, so that requests which arrive together share the
+// cost of a quorum write.
 package claim
