Reword package follow in the terms of the field

Comments spoke of offers that are taken, questions, hearing nobody and what callers felt; they now name deltas that are applied, calls, answers and load reports, and say what the delay without control members means for a process with and without a table. Locals and parameters follow. One test message is reworded; checks are unchanged.

--- a/core/coord/follow/doc.go
+++ b/core/coord/follow/doc.go
@@ -1,5 +1,5 @@
-// Package follow keeps the configuration table of an entry process current. A
-// poller asks control members, and the entry processes of the own zone while
-// no control member answers; a reporter tells the leader what the process
-// runs.
+// Package follow keeps the configuration table of an entry process up to date and
+// reports to the leader of the control group. A poller fetches the table from control
+// members, or from the entry processes of its own zone while no control member
+// answers. A reporter sends the state of the process to the leader.
 package follow
--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -11,58 +11,65 @@
 
 // Timing of the poller.
 const (
-	// WatchWait is how long a control member may hold back its answer.
+	// WatchWait is how long a control member may delay its answer until the table
+	// changes.
 	WatchWait = 2 * clock.Second
-	// watchSlack is added to WatchWait before a member counts as silent.
+	// watchSlack is added to WatchWait for the timeout of a call.
 	watchSlack = clock.Second
-	// retryWait separates two rounds in which nobody answered.
+	// retryWait is the time between two rounds when no control member answers.
 	retryWait clock.Millis = 250
-	// neighbourTimeout bounds one question to a neighbour.
+	// neighbourTimeout is the timeout of a call to a neighbour.
 	neighbourTimeout clock.Millis = 500
-	// aloneWait is the time without a control member after which a process goes
-	// by its neighbours, or by the table it has. It is a time and not a number
-	// of rounds, because a round over silent members takes seconds.
-	aloneWait = 5 * clock.Second
+	// aloneDelay is the time without an answer of a control member after which a
+	// process without a table accepts one from its neighbours, and a process with a
+	// table goes on with it. It is a time and not a number of rounds, because a
+	// round over unresponsive members takes seconds.
+	aloneDelay = 5 * clock.Second
 )
 
-// ApplyFunc hands a delta to the duty that owns the table. An error means that it
-// was not taken: it would lower the version or does not follow on the table.
+// ApplyFunc applies a delta to the table of the process. It fails when the delta would
+// lower the version or doesn't start at the version of the table.
 type ApplyFunc func(d model.Delta) error
 
 // Source reads tables from other processes.
 type Source interface {
-	// Watch asks a control member for the delta after a version.
+	// Watch asks a control member for the changes after the version from. The member
+	// may delay its answer by wait until there are any.
 	Watch(ctx context.Context, m model.Member, from model.Version, wait clock.Millis) (model.Delta, error)
-	// Table asks an entry process; ready is false while it has no table.
+	// Table asks an entry process for the changes after the version from; ready is
+	// false while it has no table.
 	Table(ctx context.Context, m model.Member, from model.Version) (d model.Delta, ready bool, err error)
 }
 
-// Poller is the duty that fetches the table.
+// Poller fetches the table.
 type Poller[S Source] struct {
 	Self model.Member
-	// ControlMembers lists the control members, those of the own zone first.
+	// ControlMembers lists the control members, those of the same zone first.
 	ControlMembers []model.Member
-	// Neighbours lists the other entry processes of the own zone.
+	// Neighbours lists the other entry processes of the same zone.
 	Neighbours []model.Member
 	source     S
-	offer      ApplyFunc
+	apply      ApplyFunc
 	clock      clock.Clock
 	done       chan struct{}
-	version    atomic.Uint64
-	inForce    atomic.Int64
-	// contact is the time of the last answer of a control member.
-	contact atomic.Int64
-	// answered says that the last question to a control member was answered;
-	// the next one may then be held back.
-	answered bool
-	// alone is the start of the first round without an answer of a control
+	// version is the version of the table in force.
+	version atomic.Uint64
+	// inForceSince is the time in milliseconds at which the table was applied.
+	inForceSince atomic.Int64
+	// lastContact is the time in milliseconds of the last answer of a control
+	// member; 0 for none.
+	lastContact atomic.Int64
+	// lastAnswered is set when the last call to a control member was answered. The
+	// next member may then delay its answer.
+	lastAnswered bool
+	// aloneSince is the start of the first round without an answer of a control
 	// member; 0 after an answer.
-	alone clock.Millis
+	aloneSince clock.Millis
 }
 
 // NewPoller returns a poller for the process self.
-func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, offer ApplyFunc, c clock.Clock) *Poller[S] {
-	p := &Poller[S]{Self: self, source: s, offer: offer, clock: c, done: make(chan struct{})}
+func NewPoller[S Source](self model.Member, control, entries []model.Member, s S, apply ApplyFunc, c clock.Clock) *Poller[S] {
+	p := &Poller[S]{Self: self, source: s, apply: apply, clock: c, done: make(chan struct{})}
 	p.ControlMembers = append(p.ControlMembers, control...)
 	sort.SliceStable(p.ControlMembers, func(i, j int) bool {
 		a, b := p.ControlMembers[i].Zone == self.Zone, p.ControlMembers[j].Zone == self.Zone
@@ -76,14 +83,14 @@
 	return p
 }
 
-// Version is the version of the table in force.
+// Version returns the version of the table in force; 0 for none.
 func (p *Poller[S]) Version() model.Version { return model.Version(p.version.Load()) }
 
-// InForceSince is the time from which the table has been in force.
-func (p *Poller[S]) InForceSince() clock.Millis { return clock.Millis(p.inForce.Load()) }
+// InForceSince returns the time at which the table was applied.
+func (p *Poller[S]) InForceSince() clock.Millis { return clock.Millis(p.inForceSince.Load()) }
 
-// LastContact is the time of the last answer of a control member; 0 for none.
-func (p *Poller[S]) LastContact() clock.Millis { return clock.Millis(p.contact.Load()) }
+// LastContact returns the time of the last answer of a control member; 0 for none.
+func (p *Poller[S]) LastContact() clock.Millis { return clock.Millis(p.lastContact.Load()) }
 
 // Run polls until Stop.
 func (p *Poller[S]) Run() error {
@@ -105,18 +112,18 @@
 	return nil
 }
 
-// round asks the control members and, when none answers, the neighbours. It
-// reports whether a control member answered.
+// round polls the control members and, when none answers, the neighbours. It reports
+// whether a control member answered.
 func (p *Poller[S]) round(ctx context.Context) bool {
-	began := p.clock.Now()
+	start := p.clock.Now()
 	if p.pollControl(ctx) {
-		p.alone = 0
+		p.aloneSince = 0
 		return true
 	}
-	if p.alone == 0 {
-		p.alone = began
+	if p.aloneSince == 0 {
+		p.aloneSince = start
 	}
-	p.goAlone(ctx)
+	p.pollNeighbours(ctx)
 	return false
 }
 
@@ -132,12 +139,13 @@
 	}
 }
 
-// pollControl asks the control members in turn and reports whether one
-// answered. Until one has, it asks them not to hold the answer back.
+// pollControl polls the control members in turn until one answers with a delta that
+// can be applied, and reports whether one did. After a failure it asks them not to
+// delay the answer.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
 	for _, m := range p.ControlMembers {
 		wait := WatchWait
-		if !p.answered {
+		if !p.lastAnswered {
 			wait = 0
 		}
 		callCtx, cancel := context.WithTimeout(ctx, (wait + watchSlack).Duration())
@@ -146,39 +154,39 @@
 		if p.stopped() {
 			return true
 		}
-		if err != nil || !p.take(d) {
-			p.answered = false
+		if err != nil || !p.applyDelta(d) {
+			p.lastAnswered = false
 			continue
 		}
-		p.answered = true
-		p.contact.Store(int64(p.clock.Now()))
+		p.lastAnswered = true
+		p.lastContact.Store(int64(p.clock.Now()))
 		return true
 	}
 	return false
 }
 
-// take offers the delta to the table's owner. An empty delta is offered too:
-// it confirms the table after a pause of this process. A member that is behind
-// this process offers nothing that can be taken.
-func (p *Poller[S]) take(d model.Delta) bool {
+// applyDelta applies a delta and reports whether it was accepted. An empty delta is
+// applied too: it confirms the table after a pause of this process. A delta of a
+// member whose table is older than this process's is not accepted.
+func (p *Poller[S]) applyDelta(d model.Delta) bool {
 	before := p.Version()
-	if d.To < before || p.offer(d) != nil {
+	if d.To < before || p.apply(d) != nil {
 		return false
 	}
-	if d.To > before || p.inForce.Load() == 0 {
+	if d.To > before || p.inForceSince.Load() == 0 {
 		p.version.Store(uint64(d.To))
-		p.inForce.Store(int64(p.clock.Now()))
+		p.inForceSince.Store(int64(p.clock.Now()))
 	}
 	return true
 }
 
-// goAlone goes by the neighbours' tables while no control member answers. A
-// process without a table first looks for a control member for some time, and
-// one that hears nobody goes on with the table it has: a partitioned zone must
-// serve what it can.
-func (p *Poller[S]) goAlone(ctx context.Context) {
-	enough := p.clock.Now()-p.alone >= aloneWait
-	if p.Version() == 0 && !enough {
+// pollNeighbours applies the neighbours' tables while no control member answers. A
+// process without a table tries control members for aloneDelay first. A process with
+// a table that gets no answer from anyone for aloneDelay confirms its own table,
+// because a partitioned zone must go on serving.
+func (p *Poller[S]) pollNeighbours(ctx context.Context) {
+	aloneLongEnough := p.clock.Now()-p.aloneSince >= aloneDelay
+	if p.Version() == 0 && !aloneLongEnough {
 		return
 	}
 	answered := false
@@ -189,9 +197,9 @@
 		if err != nil || !ready {
 			continue
 		}
-		answered = p.take(d) || answered
+		answered = p.applyDelta(d) || answered
 	}
-	if v := p.Version(); !answered && enough && v > 0 {
-		p.take(model.Delta{From: v, To: v})
+	if v := p.Version(); !answered && aloneLongEnough && v > 0 {
+		p.applyDelta(model.Delta{From: v, To: v})
 	}
 }
--- a/core/coord/follow/poller_test.go
+++ b/core/coord/follow/poller_test.go
@@ -11,8 +11,8 @@
 	"camphorridge/core/state/model"
 )
 
-// silentControl is a source whose control members never answer; a call to one
-// of them takes its whole time. The neighbour has a table.
+// silentControl is a source whose control members never answer, so that each call to
+// one lasts until its timeout. The neighbour has a table.
 type silentControl struct {
 	clock *clock.Fake
 	table model.Version
@@ -27,21 +27,21 @@
 	return model.Delta{From: from, To: s.table, Full: true}, true, nil
 }
 
-// TestSilentControlTakesNoLonger guards against a restarted process in a zone
-// that is cut off silently, which waits for the neighbour's table many times
-// longer than one whose control members refuse at once.
+// TestSilentControlTakesNoLonger guards against a restarted process that waits much
+// longer for the neighbour's table when control members don't respond than when they
+// refuse the connection at once.
 func TestSilentControlTakesNoLonger(t *testing.T) {
 	clk := clock.NewFake(1_000_000)
 	self := model.Member{Name: "e1", Zone: "za"}
 	controls := []model.Member{{Name: "c1", Zone: "za"}, {Name: "c2", Zone: "zb"}, {Name: "c3", Zone: "zc"}}
 	entries := []model.Member{self, {Name: "e2", Zone: "za"}}
 	p := NewPoller(self, controls, entries, silentControl{clock: clk, table: 7}, func(model.Delta) error { return nil }, clk.Clock())
-	began := clk.Now()
+	start := clk.Now()
 	for p.Version() == 0 {
-		assert.Assert(t, clk.Now()-began <= 10*clock.Second, "no table after %d ms", clk.Now()-began)
+		assert.Assert(t, clk.Now()-start <= 10*clock.Second, "no table after %d ms", clk.Now()-start)
 		assert.Assert(t, !p.round(context.Background()))
 		clk.Advance(retryWait)
 	}
-	assert.Assert(t, clk.Now()-began >= aloneWait, "the neighbour was believed after %d ms", clk.Now()-began)
+	assert.Assert(t, clk.Now()-start >= aloneDelay, "the neighbour's table was applied after only %d ms", clk.Now()-start)
 	assert.Equal(t, p.Version(), model.Version(7))
 }
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -9,78 +9,85 @@
 
 // Timing of the reporter.
 const (
-	// reportTick is how often the process looks for a change of the drained
-	// version, which moves wait for.
+	// reportTick is the time between two checks of the drained version, which moves
+	// of instances wait for.
 	reportTick clock.Millis = 100
-	// ReportInterval is the longest time between two reports; the leader takes
-	// an entry process for silent after three of them.
+	// ReportInterval is the longest time between two reports. The leader treats an
+	// entry process as silent after three intervals without one.
 	ReportInterval = clock.Second
-	reportTimeout  = clock.Second
-	// LoadInterval separates two reports of what callers felt. At 255 upstreams
-	// in a zone one such report has about 8 KB.
+	// reportTimeout is the limit for sending one report.
+	reportTimeout = clock.Second
+	// LoadInterval is the time between two load reports. With 255 upstreams in a
+	// zone a load report has about 8 KB.
 	LoadInterval = 5 * clock.Second
 )
 
-// Report is what an entry process tells the leader.
+// Report is a report of an entry process to the leader.
 type Report struct {
 	Process model.Process
 	Zone    model.Zone
-	// Incarnation tells two runs of the process apart.
+	// Incarnation identifies the run of the process; later runs have higher ones.
 	Incarnation uint64
-	Version     model.Version
-	// Drained is the version up to which every release was carried out: no
-	// request in flight uses an instance released at or below it.
+	// Version is the version of the table in force.
+	Version model.Version
+	// Drained is the drained version: no request in flight uses an instance released
+	// at or below it.
 	Drained model.Version
-	Live    []model.Announcement
-	Gone    []model.InstanceID
-	// Demand is what callers ask of each pool at the time of the report.
+	// Live lists the announcements that are new or changed since the last report, or
+	// all of them for a new leader.
+	Live []model.Announcement
+	// Gone lists the instances that are no longer announced since the last report.
+	Gone []model.InstanceID
+	// Demand is the demand of each pool at the time of the report.
 	Demand []model.PoolDemand
-	// Load is empty in most reports; see FeltInterval.
+	// Load is empty in most reports; see LoadInterval.
 	Load model.LoadReport
 }
 
-// Status is what the reporter reads from the other duties of the process.
+// Status is the state of the process that the reporter reports.
 type Status struct {
 	Version model.Version
 	Drained model.Version
-	// Live lists the announcements whose lease holds. It is called only for a
-	// report, as its cost follows the number of upstreams.
+	// Live returns the announcements whose lease has not expired. It is called only
+	// for a report, because its cost is proportional to the number of upstreams.
 	Live func() []model.Announcement
 }
 
-// ReportSender sends a report to the leader of the control group and returns the
-// leader's term.
+// ReportSender sends reports to the leader of the control group.
 type ReportSender interface {
+	// Report sends a report and returns the leader's term.
 	Report(ctx context.Context, r Report) (term uint64, err error)
 }
 
-// Reporter is the duty that reports to the leader: at once when the drained
-// version changed, as moves wait for it, and otherwise once in ReportInterval.
+// Reporter reports to the leader: within reportTick when the drained version has
+// changed, because moves of instances wait for it, and otherwise every
+// ReportInterval.
 type Reporter[R ReportSender] struct {
-	self        model.Member
-	incarnation uint64
-	out         R
-	status      func() Status
-	felt        func() model.LoadReport
-	demand      func() []model.PoolDemand
-	feltAt      clock.Millis
-	clock       clock.Clock
-	done        chan struct{}
-	sent        map[model.InstanceID]model.Announcement
-	lastDrained model.Version
-	lastTime    clock.Millis
-	// complete is set once the leader of the term has the whole list of
-	// upstreams; a failure or a new term clears it, as the next leader may know
-	// none of them.
+	self           model.Member
+	incarnation    uint64
+	out            R
+	status         func() Status
+	loadReport     func() model.LoadReport
+	demand         func() []model.PoolDemand
+	loadReportedAt clock.Millis
+	clock          clock.Clock
+	done           chan struct{}
+	// reported holds the announcements that were last reported.
+	reported     map[model.InstanceID]model.Announcement
+	lastDrained  model.Version
+	lastReportAt clock.Millis
+	// complete is set once the leader of the term has all announcements. A failure
+	// or a new term clears it, because the next leader may have none of them.
 	complete bool
-	term     uint64
+	// term is the term of the leader that received the last report.
+	term uint64
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R ReportSender](self model.Member, incarnation uint64, out R, status func() Status, felt func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
+func NewReporter[R ReportSender](self model.Member, incarnation uint64, out R, status func() Status, loadReport func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
-		self: self, incarnation: incarnation, out: out, status: status, felt: felt, demand: demand, clock: c,
-		done: make(chan struct{}), sent: map[model.InstanceID]model.Announcement{},
+		self: self, incarnation: incarnation, out: out, status: status, loadReport: loadReport, demand: demand, clock: c,
+		done: make(chan struct{}), reported: map[model.InstanceID]model.Announcement{},
 	}
 }
 
@@ -99,20 +106,21 @@
 // Stop ends Run.
 func (r *Reporter[R]) Stop() { close(r.done) }
 
+// tick sends a report if one is due.
 func (r *Reporter[R]) tick() {
 	s := r.status()
 	now := r.clock.Now()
-	if s.Drained == r.lastDrained && now-r.lastTime < ReportInterval {
+	if s.Drained == r.lastDrained && now-r.lastReportAt < ReportInterval {
 		return
 	}
 	rep := r.build(s)
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout.Duration())
 	defer cancel()
-	r.lastTime = now
+	r.lastReportAt = now
 	rep.Demand = r.demand()
-	if now-r.feltAt >= LoadInterval {
-		r.feltAt = now
-		rep.Load = r.felt()
+	if now-r.loadReportedAt >= LoadInterval {
+		r.loadReportedAt = now
+		rep.Load = r.loadReport()
 	}
 	full := !r.complete
 	term, err := r.out.Report(ctx, rep)
@@ -124,15 +132,15 @@
 	r.term = term
 	r.lastDrained = s.Drained
 	for _, a := range rep.Live {
-		r.sent[a.Instance] = a
+		r.reported[a.Instance] = a
 	}
 	for _, id := range rep.Gone {
-		delete(r.sent, id)
+		delete(r.reported, id)
 	}
 }
 
-// build returns the difference to what the leader has, or everything after a
-// failure.
+// build returns a report with the announcements that changed since the last one, or
+// with all of them when the leader may not have them.
 func (r *Reporter[R]) build(s Status) Report {
 	rep := Report{
 		Process: r.self.Name, Zone: r.self.Zone, Incarnation: r.incarnation,
@@ -142,11 +150,11 @@
 	live := make(map[model.InstanceID]bool, len(all))
 	for _, a := range all {
 		live[a.Instance] = true
-		if !r.complete || r.sent[a.Instance] != a {
+		if !r.complete || r.reported[a.Instance] != a {
 			rep.Live = append(rep.Live, a)
 		}
 	}
-	for id := range r.sent {
+	for id := range r.reported {
 		if !live[id] {
 			rep.Gone = append(rep.Gone, id)
 		}
