Reword package boot in the terms of the field

Comments spoke of a keeper that looks, members that are not heard and processes that are told; they now name checks of the member list, silent members and calls. keeper.go is membership.go, after MembershipManager. Unexported names, receivers and locals follow. Test heads name the failure; three tests are renamed for what they check, checks are unchanged.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -10,64 +10,64 @@
 	"camphorridge/core/state/raft"
 )
 
-// askTimeout bounds one question to another member, and askWait separates two
-// rounds of questions.
 const (
-	askTimeout clock.Millis = 500
-	askWait    clock.Millis = 200
+	// helloTimeout is the timeout of one Hello call.
+	helloTimeout clock.Millis = 500
+	// roundDelay is the time between two rounds of Hello calls to all members.
+	roundDelay clock.Millis = 200
 )
 
-// Hello is what a control process says about itself.
+// Hello describes the identity of a control process.
 type Hello struct {
 	Name model.Process
 	ID   raft.MemberID
-	// Initialised is set once the process has been in a group; it is durable
-	// and never cleared.
+	// Initialised is set once the process has been in a group. It is durable and
+	// never cleared.
 	Initialised bool
-	// Founders is the member list while all its members vote; empty elsewhere.
-	// A process that finds its own identity there was a founder whose own start
+	// Founders is the member list as long as all its members are voters, and empty
+	// otherwise. A process that finds its own identity in it is a founder whose start
 	// was interrupted.
 	Founders []raft.Member
 }
 
-// PeerClient asks a control process who it is.
+// PeerClient calls other control processes.
 type PeerClient interface {
+	// Hello asks a control process for its identity.
 	Hello(ctx context.Context, m model.Member) (Hello, error)
 	// Join asks the group that the members belong to for membership of self.
 	Join(ctx context.Context, members []model.Member, self raft.Member) error
 }
 
-// Plan is the decision of a process with an empty data folder.
+// Plan is how a process with an empty data folder becomes a member.
 type Plan int
 
-// The decisions.
+// The plans.
 const (
-	// PlanRetry: not every configured member answered.
+	// PlanRetry: not every configured member answered, so ask again.
 	PlanRetry Plan = iota
-	// PlanForm: all members are new; each writes the same first member list.
+	// PlanForm: all members are new; each writes the same initial member list.
 	PlanForm
 	// PlanJoin: a group exists; its leader must add this process.
 	PlanJoin
 )
 
-// DecidePlan returns the plan of the process self with, for PlanForm, the members
-// of the new group and, for PlanJoin, the processes that answered. answers
-// holds one answer for each configured member that could be asked, this
-// process included.
+// DecidePlan returns the plan of the process self, with the members of the new group
+// for PlanForm and the processes that answered for PlanJoin. answers holds an answer
+// of each configured member that responded, including this process.
 func DecidePlan(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
 	members := identified(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
 			continue
 		}
-		// A founder's identity was never in use before, as its data folder is
-		// empty under the same identity: it can start from the same list.
+		// The founder's identity has not been used, because its data folder is empty
+		// under the same identity. So it can safely start from the same list.
 		if slices.ContainsFunc(a.Founders, func(m raft.Member) bool { return m.ID == self }) {
 			return PlanForm, a.Founders
 		}
 		return PlanJoin, members
 	}
-	// A process that is not configured belongs to no first member list; it joins
+	// A process that is not configured is never in an initial member list; it joins
 	// the group that the others form.
 	founder := slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == self })
 	if len(members) < len(configured) || !founder {
@@ -79,8 +79,8 @@
 	return PlanForm, members
 }
 
-// identified returns the configured processes that answered, in order of their
-// names.
+// identified returns the configured processes that answered with an identity, sorted by
+// name.
 func identified(configured []model.Member, answers []Hello) []raft.Member {
 	byName := make(map[model.Process]Hello, len(answers))
 	for _, a := range answers {
@@ -96,29 +96,31 @@
 	return members
 }
 
-// AwaitPlan asks the configured members until the plan is clear or done is closed;
-// it returns PlanAskAgain in the latter case.
+// AwaitPlan asks the configured members until a plan other than PlanRetry is decided or
+// done is closed; in the latter case it returns PlanRetry.
 func AwaitPlan[A PeerClient](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
-		plan, members := DecidePlan(self.ID, configured, ask(a, self, configured))
+		plan, members := DecidePlan(self.ID, configured, collectAnswers(a, self, configured))
 		if plan != PlanRetry {
 			return plan, members
 		}
 		select {
-		case <-c.After(askWait):
+		case <-c.After(roundDelay):
 		case <-done:
 			return PlanRetry, nil
 		}
 	}
 }
 
-func ask[A PeerClient](a A, self Hello, configured []model.Member) []Hello {
+// collectAnswers asks the configured members for their identity. It returns the answers
+// including self's own.
+func collectAnswers[A PeerClient](a A, self Hello, configured []model.Member) []Hello {
 	answers := []Hello{self}
 	for _, m := range configured {
 		if m.Name == self.Name {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), helloTimeout.Duration())
 		h, err := a.Hello(ctx, m)
 		cancel()
 		if err == nil {
@@ -128,9 +130,9 @@
 	return answers
 }
 
-// UnlistedMember returns a configured process that answers under an identity which is
-// not in the member list and was in no group: its data folder was lost, or it
-// is new to the settings. ok is false when there is none.
+// UnlistedMember returns a configured process that answers with an identity which is
+// not in the member list and has never been in a group: its data folder was lost, or it
+// was added to the settings. ok is false when there is none.
 func UnlistedMember(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
 	listed := make(map[raft.MemberID]bool, len(members))
 	for _, m := range members {
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -13,8 +13,8 @@
 
 var configured = []model.Member{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}}
 
-// TestDecide guards against two groups under the same settings: a process
-// with an empty data folder must never form a group beside an existing one.
+// TestDecide guards against two groups with the same settings: a process with an
+// empty data folder must never form a group when one exists.
 func TestDecide(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -40,12 +40,12 @@
 	}
 }
 
-// TestMissing guards against replacing a member that is only silent, and
-// against leaving one out that lost its data folder.
+// TestMissing guards against replacing a member that merely doesn't answer, and
+// against not adding a process that lost its data folder.
 func TestMissing(t *testing.T) {
 	members := []raft.Member{{ID: 1, Name: "c1", Voter: true}, {ID: 2, Name: "c2", Voter: true}, {ID: 3, Name: "c3", Voter: true}}
 	_, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
-	assert.Assert(t, !ok, "a silent member must stay")
+	assert.Assert(t, !ok, "a member that doesn't answer must stay")
 	got, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c3", ID: 9}})
 	assert.Assert(t, ok)
 	assert.Equal(t, got.ID, raft.MemberID(9))
@@ -54,5 +54,5 @@
 	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 9, Initialised: true}})
 	assert.Assert(t, !ok, "a process of another group must not be added")
 	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 3}})
-	assert.Assert(t, !ok, "a listed member whose start was interrupted is no new one")
+	assert.Assert(t, !ok, "a listed member whose start was interrupted must not be added")
 }
--- /dev/null
+++ b/core/coord/boot/membership.go
@@ -0,0 +1,178 @@
+package boot
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+)
+
+const (
+	// checkInterval is the time between two checks of the member list.
+	checkInterval = clock.Second
+	// joinTimeout is the limit for one check. Adding a member can take long, because
+	// its old identity counts as gone only after an election timeout.
+	joinTimeout = 5 * clock.Second
+	// maxChecksWithoutLeader is the number of consecutive checks without a known
+	// leader after which a listed member asks to join: it may have been removed while
+	// it was not running.
+	maxChecksWithoutLeader = 3
+	// removeAfterMillis is how long a member must be silent before it is removed from
+	// a group with more than the minimum number of members.
+	removeAfterMillis = 8 * clock.Second
+)
+
+// View is a member's view of its group.
+type View struct {
+	Members []raft.Member
+	// IsLeader is set when this process leads.
+	IsLeader bool
+	// HasLeader is set when a leader is known.
+	HasLeader bool
+	// Silent lists, on the leader, the members that have not answered recently.
+	Silent []raft.MemberID
+}
+
+// Membership is the control group as the manager uses it.
+type Membership interface {
+	// Refresh passes the addresses of the current members to the senders and returns
+	// this process's view of the group.
+	Refresh(ctx context.Context) View
+	// Join adds a member; only the leader can. The new member replaces the listed
+	// member of the same name if that one no longer answers.
+	Join(ctx context.Context, m raft.Member) error
+	// Remove removes a member; only the leader can.
+	Remove(ctx context.Context, id raft.MemberID) error
+}
+
+// MembershipManager checks the member list regularly and keeps the members' addresses
+// known. On the leader it adds processes that lost their data folder, under their new
+// identity, and removes silent members from a group that has more members than the
+// minimum. In a process that is not a member it asks to become one.
+type MembershipManager[A PeerClient, M Membership] struct {
+	self   Hello
+	member raft.Member
+	// configured holds the control processes in the settings.
+	configured atomic.Pointer[[]model.Member]
+	// minMembers is the number of members below which none is removed.
+	minMembers int
+	peers      A
+	group      M
+	clock      clock.Clock
+	done       chan struct{}
+	// joined is called with each process that was added.
+	joined func(m raft.Member)
+	// removed is called with each member that was removed.
+	removed func(id raft.MemberID)
+	// checksWithoutLeader counts the consecutive checks without a known leader.
+	checksWithoutLeader int
+	// silentSince holds, on the leader, since when members have been silent.
+	silentSince map[raft.MemberID]clock.Millis
+}
+
+// Config holds the settings and dependencies of a MembershipManager; see its fields.
+type Config[A PeerClient, M Membership] struct {
+	Self       Hello
+	Member     raft.Member
+	Configured []model.Member
+	MinMembers int
+	Asker      A
+	Group      M
+	Clock      clock.Clock
+	Joined     func(raft.Member)
+	Removed    func(raft.MemberID)
+}
+
+// NewMembershipManager returns a manager. It checks the member list only while Run is
+// running.
+func NewMembershipManager[A PeerClient, M Membership](cfg Config[A, M]) *MembershipManager[A, M] {
+	mm := &MembershipManager[A, M]{
+		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Asker, group: cfg.Group, clock: cfg.Clock,
+		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
+	}
+	mm.Configure(cfg.Configured)
+	return mm
+}
+
+// Configure replaces the configured control processes. It may be called from any
+// goroutine.
+func (mm *MembershipManager[A, M]) Configure(all []model.Member) { mm.configured.Store(&all) }
+
+// Run checks the member list until Stop.
+func (mm *MembershipManager[A, M]) Run() error {
+	for {
+		select {
+		case <-mm.clock.After(checkInterval):
+			mm.check()
+		case <-mm.done:
+			return nil
+		}
+	}
+}
+
+// Stop ends Run.
+func (mm *MembershipManager[A, M]) Stop() { close(mm.done) }
+
+func (mm *MembershipManager[A, M]) check() {
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout.Duration())
+	defer cancel()
+	v := mm.group.Refresh(ctx)
+	if !v.IsLeader {
+		clear(mm.silentSince)
+		mm.requestMembership(ctx, v)
+		return
+	}
+	mm.checksWithoutLeader = 0
+	mm.removeSilentMember(ctx, v)
+	self := mm.self
+	self.Initialised = true
+	configured := *mm.configured.Load()
+	m, ok := UnlistedMember(v.Members, configured, collectAnswers(mm.peers, self, configured))
+	if ok && mm.group.Join(ctx, m) == nil {
+		mm.joined(m)
+	}
+}
+
+// requestMembership asks the group for membership when this process is not a member,
+// or may have been removed because it has had no leader for maxChecksWithoutLeader
+// checks. The request has no effect for a member that is still listed.
+func (mm *MembershipManager[A, M]) requestMembership(ctx context.Context, v View) {
+	listed := slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == mm.self.ID })
+	mm.checksWithoutLeader++
+	if v.HasLeader {
+		mm.checksWithoutLeader = 0
+	}
+	if mm.member.ID == 0 || (listed && mm.checksWithoutLeader < maxChecksWithoutLeader) {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(*mm.configured.Load()), func(m model.Member) bool { return m.Name == mm.self.Name })
+	// After a failure the next check asks again.
+	_ = mm.peers.Join(ctx, others, mm.member)
+}
+
+// removeSilentMember removes a member that has been silent for removeAfterMillis if the
+// group has more than minMembers members, as after a machine was replaced for good.
+func (mm *MembershipManager[A, M]) removeSilentMember(ctx context.Context, v View) {
+	now := mm.clock.Now()
+	for id := range mm.silentSince {
+		if !slices.Contains(v.Silent, id) {
+			delete(mm.silentSince, id)
+		}
+	}
+	for _, id := range v.Silent {
+		since, known := mm.silentSince[id]
+		if !known {
+			mm.silentSince[id] = now
+			continue
+		}
+		if len(v.Members) > mm.minMembers && now-since >= removeAfterMillis {
+			if mm.group.Remove(ctx, id) == nil {
+				mm.removed(id)
+			}
+			return
+		}
+	}
+}
--- a/core/coord/boot/keeper_test.go
+++ b/core/coord/boot/membership_test.go
@@ -12,11 +12,11 @@
 	"camphorridge/core/state/raft"
 )
 
-// fakeGroup is both the group and the other processes as a keeper sees them.
+// fakeGroup stands in for the group and the other processes.
 type fakeGroup struct {
-	view    View
-	asked   int
-	removed []raft.MemberID
+	view      View
+	joinCalls int
+	removed   []raft.MemberID
 }
 
 func (f *fakeGroup) Refresh(context.Context) View            { return f.view }
@@ -26,29 +26,30 @@
 	return nil
 }
 
-type fakeAsker struct{ group *fakeGroup }
+// fakePeers counts the Join calls in its group.
+type fakePeers struct{ group *fakeGroup }
 
-func (f fakeAsker) Hello(context.Context, model.Member) (Hello, error) {
+func (f fakePeers) Hello(context.Context, model.Member) (Hello, error) {
 	return Hello{}, errors.New("no answer")
 }
 
-func (f fakeAsker) Join(context.Context, []model.Member, raft.Member) error {
-	f.group.asked++
+func (f fakePeers) Join(context.Context, []model.Member, raft.Member) error {
+	f.group.joinCalls++
 	return nil
 }
 
-func newTestKeeper(size int) (*MembershipManager[fakeAsker, *fakeGroup], *fakeGroup, *clock.Fake) {
+func newTestManager(minMembers int) (*MembershipManager[fakePeers, *fakeGroup], *fakeGroup, *clock.Fake) {
 	g, c := &fakeGroup{}, clock.NewFake(1000)
-	k := NewMembershipManager(Config[fakeAsker, *fakeGroup]{
-		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: size, Asker: fakeAsker{g}, Group: g,
+	mm := NewMembershipManager(Config[fakePeers, *fakeGroup]{
+		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: minMembers, Asker: fakePeers{g}, Group: g,
 		Clock: c.Clock(), Joined: func(raft.Member) {}, Removed: func(raft.MemberID) {},
 	})
-	return k, g, c
+	return mm, g, c
 }
 
-// TestStrangerFormsNoGroup guards against a second group: a process that the
-// settings do not name waits for the group that the others form.
-func TestStrangerFormsNoGroup(t *testing.T) {
+// TestUnconfiguredProcessFormsNoGroup guards against a second group: a process that is
+// not in the settings must wait for the group that the others form.
+func TestUnconfiguredProcessFormsNoGroup(t *testing.T) {
 	configured := []model.Member{{Name: "c1"}, {Name: "c2"}}
 	answers := []Hello{{Name: "c4", ID: 4}, {Name: "c1", ID: 1}, {Name: "c2", ID: 2}}
 	plan, _ := DecidePlan(4, configured, answers)
@@ -61,36 +62,36 @@
 	assert.Equal(t, plan, PlanJoin)
 }
 
-// TestStrangerAsksToJoin guards against a machine with an empty disk at a new
-// address that nobody adds, and against a removed member that never comes back.
-func TestStrangerAsksToJoin(t *testing.T) {
-	k, g, _ := newTestKeeper(3)
+// TestNonMemberAsksToJoin guards against a process with an empty disk at a new address
+// that is never added to the group, and against a removed member that never returns.
+func TestNonMemberAsksToJoin(t *testing.T) {
+	mm, g, _ := newTestManager(3)
 	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, HasLeader: true}
-	k.look()
-	assert.Equal(t, g.asked, 1)
+	mm.check()
+	assert.Equal(t, g.joinCalls, 1)
 	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, HasLeader: true}
-	k.look()
-	assert.Equal(t, g.asked, 1, "it is a member")
+	mm.check()
+	assert.Equal(t, g.joinCalls, 1, "it is a member")
 	g.view.HasLeader = false
-	for range aloneLooks {
-		k.look()
+	for range maxChecksWithoutLeader {
+		mm.check()
 	}
-	assert.Equal(t, g.asked, 2, "it hears no leader")
+	assert.Equal(t, g.joinCalls, 2, "it knows no leader")
 }
 
-// TestSilentMemberIsRetired guards against a group that grows with each
-// replaced machine until the dead members take its quorum, and against one
-// that shrinks below what the loss of disks calls for.
-func TestSilentMemberIsRetired(t *testing.T) {
+// TestSilentMemberIsRemoved guards against a group that grows with each replaced
+// machine until dead members prevent a quorum, and against a group that shrinks below
+// the size that tolerates the loss of disks.
+func TestSilentMemberIsRemoved(t *testing.T) {
 	for _, c := range []struct{ size, want int }{{3, 1}, {4, 0}} {
-		k, g, clk := newTestKeeper(c.size)
+		mm, g, clk := newTestManager(c.size)
 		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, IsLeader: true, Silent: []raft.MemberID{3}}
-		k.look()
-		clk.Advance(silentMillis - 1)
-		k.look()
+		mm.check()
+		clk.Advance(removeAfterMillis - 1)
+		mm.check()
 		assert.Equal(t, len(g.removed), 0)
 		clk.Advance(1)
-		k.look()
+		mm.check()
 		assert.Equal(t, len(g.removed), c.want)
 	}
 }
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -129,7 +129,7 @@
 
 // Page is like Events but returns at most limit events, so that a response
 // doesn't copy a long log.
-func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.ask(since, limit).events }
+func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.query(since, limit).events }
 
 // Counts holds the counters of a recorder; they only grow.
 type Counts struct {
@@ -148,13 +148,13 @@
 
 // Counts returns a copy of the counters.
 func (r *Recorder) Counts() Counts {
-	dropped := r.ask(0, 0).dropped
+	dropped := r.query(0, 0).dropped
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Counts{Recorded: int64(r.seq), Lost: r.lost, Dropped: dropped, Rejected: r.hybrid.Rejected}
 }
 
-func (r *Recorder) ask(since uint64, limit int) reply {
+func (r *Recorder) query(since uint64, limit int) reply {
 	answer := make(chan reply, 1)
 	if r.in.PutWait(input{since: since, limit: limit, answer: answer}, r.ended) {
 		select {
