Name settings, configs and request times in full in core/coord

Fields and parameters set, p and asked are now settings, cfg and requestedAt; a test local named board is waves.

--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -32,11 +32,11 @@
 	return clear
 }
 
-// HandleResponse handles the response a to the loan request o that was sent at
-// asked; ok is false when there was no response.
-func (d *Dispatcher[P, Q, L]) HandleResponse(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
+// HandleResponse handles the response a to the loan request o that was sent at time
+// requestedAt; ok is false when there was no response.
+func (d *Dispatcher[P, Q, L]) HandleResponse(o lend.Message, requestedAt clock.Millis, a lend.LoanResponse, ok bool) {
 	d.withLoans(func(now clock.Millis) {
-		d.loans.HandleResponse(now, o, asked, a, ok)
+		d.loans.HandleResponse(now, o, requestedAt, a, ok)
 		for _, l := range a.Loans {
 			// This process's table may be newer than the lender's.
 			if i, known := d.table.Instances[l.Instance]; known {
--- a/core/coord/lender/sender.go
+++ b/core/coord/lender/sender.go
@@ -38,9 +38,9 @@
 
 // LoanLedger receives the results of the messages.
 type LoanLedger interface {
-	// HandleResponse handles the response a to the loan request o that was sent at
-	// asked; ok is false when there was no response.
-	HandleResponse(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool)
+	// HandleResponse handles the response a to the loan request o that was sent at time
+	// requestedAt; ok is false when there was no response.
+	HandleResponse(o lend.Message, requestedAt clock.Millis, a lend.LoanResponse, ok bool)
 	// HandleReturnResult records whether the return in o was received.
 	HandleReturnResult(o lend.Message, ok bool)
 	// HandleRecallAck records that the process from holds no loans of this process's
@@ -160,11 +160,11 @@
 	defer cancel()
 	// A lease is counted from before the request was sent, so that it ends here
 	// before it ends at the lender, however long the message takes.
-	asked := s.clock.Now()
+	requestedAt := s.clock.Now()
 	switch m.Kind {
 	case lend.MessageRequest:
 		a, err := s.peers.Lend(ctx, to, m.Request)
-		s.ledger.HandleResponse(m, asked, a, err == nil)
+		s.ledger.HandleResponse(m, requestedAt, a, err == nil)
 	case lend.MessageReturn:
 		s.ledger.HandleReturnResult(m, s.peers.Return(ctx, to, m.Return) == nil)
 	case lend.MessageRecall:
--- a/core/coord/lender/sender_test.go
+++ b/core/coord/lender/sender_test.go
@@ -46,11 +46,11 @@
 	return f.open <= 0
 }
 
-func (f *fake) HandleResponse(o lend.Message, asked clock.Millis, a lend.LoanResponse, ok bool) {
+func (f *fake) HandleResponse(o lend.Message, requestedAt clock.Millis, a lend.LoanResponse, ok bool) {
 	switch {
 	case !ok:
 		f.results <- string(o.To) + " unanswered"
-	case asked > 0 && a.Incarnation == o.Request.Number:
+	case requestedAt > 0 && a.Incarnation == o.Request.Number:
 		f.results <- string(o.To) + " answered"
 	}
 }
--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -14,8 +14,8 @@
 // updated with the changes of the table and plans only after a change.
 type CapacityPlanner[A plan.Policy, S plan.Chooser] struct {
 	*SurgePlanner[S]
-	policy A
-	set    plan.Settings
+	policy   A
+	settings plan.Settings
 	// RepairAfter is how long an instance must be lost before another instance
 	// replaces it. Most lost instances are only restarting, and each replacement
 	// costs two moves.
@@ -30,8 +30,8 @@
 }
 
 // NewCapacityPlanner returns an empty planner with the given policy and settings.
-func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, set plan.Settings, repairAfter clock.Millis, s *SurgePlanner[S]) *CapacityPlanner[A, S] {
-	c := &CapacityPlanner[A, S]{SurgePlanner: s, policy: p, set: set, RepairAfter: repairAfter}
+func NewCapacityPlanner[A plan.Policy, S plan.Chooser](p A, settings plan.Settings, repairAfter clock.Millis, s *SurgePlanner[S]) *CapacityPlanner[A, S] {
+	c := &CapacityPlanner[A, S]{SurgePlanner: s, policy: p, settings: settings, RepairAfter: repairAfter}
 	c.Reset()
 	return c
 }
@@ -89,7 +89,7 @@
 		return nil, c.waits()
 	}
 	c.dirty = false
-	c.lastAssignment = plan.Decide(c.policy, c.set, c.index, extras)
+	c.lastAssignment = plan.Decide(c.policy, c.settings, c.index, extras)
 	var steps []model.InstanceStep
 	for _, m := range c.lastAssignment.Moves {
 		i := t.Instances[m.Instance]
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -113,9 +113,9 @@
 }
 
 // New returns a mover. It handles reports only while Run is running.
-func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](p Config[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
+func New[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser](cfg Config[G, P, C, J, A, S]) *Mover[G, P, C, J, A, S] {
 	m := &Mover[G, P, C, J, A, S]{
-		Config: p,
+		Config: cfg,
 		in:     ring.New[input](ringSize), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	m.reset(0)
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -73,10 +73,10 @@
 	}
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
 	set := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PressureRetryMillis: 1000}
-	board := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
+	waves := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
 	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurgePlanner(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New(testParts{
-		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Waves: board,
+		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Waves: waves,
 		Capacity: capacity, Clock: clk.Clock(), Events: func(e model.Event) {
 			e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
 			w.events = append(w.events, e)
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -15,7 +15,7 @@
 type WavePlanner[P maint.Pacer, J maint.StopPolicy] struct {
 	pacer      P
 	stopPolicy J
-	set        maint.Settings
+	settings   maint.Settings
 	planner    *maint.Planner[P, J]
 	// declaredVersions holds the version of each declaration, by its name, that
 	// the planner has.
@@ -23,15 +23,15 @@
 }
 
 // NewWavePlanner returns an empty planner with the given policies and settings.
-func NewWavePlanner[P maint.Pacer, J maint.StopPolicy](p P, j J, set maint.Settings) *WavePlanner[P, J] {
-	w := &WavePlanner[P, J]{pacer: p, stopPolicy: j, set: set}
+func NewWavePlanner[P maint.Pacer, J maint.StopPolicy](p P, j J, settings maint.Settings) *WavePlanner[P, J] {
+	w := &WavePlanner[P, J]{pacer: p, stopPolicy: j, settings: settings}
 	w.Reset(nil)
 	return w
 }
 
 // Reset empties the planner for a new term and adds the given finished outages.
 func (w *WavePlanner[P, J]) Reset(outages []model.Outage) {
-	w.planner = maint.NewPlanner(w.pacer, w.stopPolicy, w.set)
+	w.planner = maint.NewPlanner(w.pacer, w.stopPolicy, w.settings)
 	w.declaredVersions = map[string]model.Version{}
 	for _, o := range outages {
 		w.planner.SetOutage(maint.Outage{Instance: o.Instance, Pool: o.Pool, From: o.From, To: o.To})
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -185,10 +185,10 @@
 }
 
 // New returns a runner. It processes inputs only while Run is running.
-func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](p Config[G, M, O, J]) *Runner[G, M, O, J] {
+func New[G Group, M Machines, O sched.RankPolicy, J place.HealthPolicy](cfg Config[G, M, O, J]) *Runner[G, M, O, J] {
 	r := &Runner[G, M, O, J]{
-		Name: p.Name, group: p.Group, machines: p.Machines, rank: p.Rank, health: p.Health, settings: p.Settings,
-		clock: p.Clock, notes: p.Notes, observeCommit: p.ObserveCommit,
+		Name: cfg.Name, group: cfg.Group, machines: cfg.Machines, rank: cfg.Rank, health: cfg.Health, settings: cfg.Settings,
+		clock: cfg.Clock, notes: cfg.Notes, observeCommit: cfg.ObserveCommit,
 		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[pendingAction](actionRingSize),
 		done: make(chan struct{}), ended: make(chan struct{}), waiting: map[jobs.WorkerID]waitingHeartbeat{},
 	}
