--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -105,7 +105,7 @@
 
 // The kinds of refusal.
 const (
-	// RefusalNoContract: no contract of the customer covers the service.
+	// RefusalNoContract: no contract of the customer covers the pool.
 	RefusalNoContract RefusalKind = iota
 	// RefusalLimit: a limit of the contract is reached.
 	RefusalLimit
