Rename codec, conf and report names after the core types they carry

codec.AskToWire/AskFromWire and AnswerToWire/AnswerFromWire now say which message they map (LoanRequest, LoanResponse). report.ProcessStatus.Seen, Since and Drained did not say what was seen, since when or what was drained; they are LastReportAt, VersionSince and DrainedVersion. conf.Control.SurgeKeep and ExchangeMoves, conf.Limits.QueueRing and conf.Maintenance.StepMillis take the names that core uses: SurgeMinSpare, MaxExchangeMoves, QueueRingSize and MaintenanceMillis. Setting keys and JSON keys are unchanged.

--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -15,16 +15,16 @@
 	maxLoanTime  = clock.Hour
 )
 
-// AskToWire maps an ask for loans.
-func AskToWire(a lend.LoanRequest) *wirepb.LendRequest {
+// LoanRequestToWire maps an ask for loans.
+func LoanRequestToWire(a lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
 		Borrower: text(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: text(a.Pool),
 		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.MaxRequestTime),
 	}
 }
 
-// AskFromWire maps an ask for loans; borrower and pool are required.
-func AskFromWire(w *wirepb.LendRequest) (lend.LoanRequest, error) {
+// LoanRequestFromWire maps an ask for loans; borrower and pool are required.
+func LoanRequestFromWire(w *wirepb.LendRequest) (lend.LoanRequest, error) {
 	const op = "ask for loans"
 	err := firstOf(
 		required(op, "borrower", w.GetBorrower(), "pool", w.GetPool()),
@@ -41,17 +41,17 @@
 	}, nil
 }
 
-// AnswerToWire maps the answer to an ask.
-func AnswerToWire(a lend.LoanResponse) *wirepb.LendResponse {
+// LoanResponseToWire maps the answer to an ask.
+func LoanResponseToWire(a lend.LoanResponse) *wirepb.LendResponse {
 	return &wirepb.LendResponse{
 		Incarnation: a.Incarnation, LeaseMs: int64(a.Lease),
 		Loans: list(a.Loans, loanToWire), Renewed: list(a.Renewed, idToWire),
 	}
 }
 
-// AnswerFromWire maps the answer to an ask; it is refused whole when one of its
+// LoanResponseFromWire maps the answer to an ask; it is refused whole when one of its
 // loans is malformed.
-func AnswerFromWire(w *wirepb.LendResponse) (lend.LoanResponse, error) {
+func LoanResponseFromWire(w *wirepb.LendResponse) (lend.LoanResponse, error) {
 	if err := between("answer about loans", "lease", w.GetLeaseMs(), 0, int64(maxLoanTime)); err != nil {
 		return lend.LoanResponse{}, err
 	}
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -13,12 +13,12 @@
 // over the wire, or when a loan without a slot or a connection is accepted.
 func TestLoanRoundTrip(t *testing.T) {
 	a := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, MaxRequestTime: 7}
-	a2, err := AskFromWire(AskToWire(a))
+	a2, err := LoanRequestFromWire(LoanRequestToWire(a))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a2, a)
 	l := lend.Loan{ID: 1, Instance: "i", Pool: "p", Address: "x", Incarnation: 2, HealthPath: "/h", Slots: 3, Connections: 4}
 	n := lend.LoanResponse{Incarnation: 1, Lease: 2, Loans: []lend.Loan{l}, Renewed: []lend.ID{3}}
-	n2, err := AnswerFromWire(AnswerToWire(n))
+	n2, err := LoanResponseFromWire(LoanResponseToWire(n))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, n2, n)
 	r := lend.Return{Borrower: "e1", Incarnation: 2, IDs: []lend.ID{3}}
@@ -27,9 +27,9 @@
 	assert.DeepEqual(t, RecallFromWire(RecallToWire(c)), c)
 
 	for _, bad := range []lend.Loan{{}, {Instance: "i", Pool: "p", Address: "x"}, {Instance: "i", Pool: "p", Address: "x", Slots: 2, Connections: 1}} {
-		_, err = AnswerFromWire(&wirepb.LendResponse{Loans: []*wirepb.Loan{loanToWire(bad)}})
+		_, err = LoanResponseFromWire(&wirepb.LendResponse{Loans: []*wirepb.Loan{loanToWire(bad)}})
 		assert.Assert(t, err != nil, "%+v", bad)
 	}
-	_, err = AskFromWire(AskToWire(lend.LoanRequest{Borrower: "e1", Pool: "p", Slots: -1}))
+	_, err = LoanRequestFromWire(LoanRequestToWire(lend.LoanRequest{Borrower: "e1", Pool: "p", Slots: -1}))
 	assert.Assert(t, err != nil)
 }
--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -58,7 +58,7 @@
 			fmt.Sprintf("at most %d with election-ms = %d", most, c.Consensus.ElectionMillis))
 	}
 	m := c.Maintenance
-	d.atMost("maintenance", "step-ms", m.StepMillis, "stuck-ms", m.StuckMillis)
+	d.atMost("maintenance", "step-ms", m.MaintenanceMillis, "stuck-ms", m.StuckMillis)
 	if m.PeriodDays > 0 && m.MarginDays >= m.PeriodDays && d.sound("maintenance/") {
 		d.add("maintenance", "margin-days", fmt.Sprint(m.MarginDays), "not below period-days",
 			fmt.Sprintf("at most %d with period-days = %d", m.PeriodDays-1, m.PeriodDays))
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -25,7 +25,7 @@
 	DefaultTimeoutMillis clock.Millis
 	MaxTimeoutMillis     clock.Millis
 	LeaseMillis          clock.Millis
-	QueueRing            int
+	QueueRingSize        int
 	RetryPercent         int
 	// DrainMillis bounds a graceful stop. In an entry process it is at least
 	// MaxTimeoutMillis, so that a stop interrupts no request.
@@ -63,11 +63,11 @@
 
 // Maintenance holds the times of maintenance waves.
 type Maintenance struct {
-	// StepMillis is the longest time that one maintenance keeps an instance out
+	// MaintenanceMillis is the longest time that one maintenance keeps an instance out
 	// of service; at most StuckMillis.
-	StepMillis   clock.Millis
-	CanaryMillis clock.Millis
-	StuckMillis  clock.Millis
+	MaintenanceMillis clock.Millis
+	CanaryMillis      clock.Millis
+	StuckMillis       clock.Millis
 	// PeriodDays is 0 to turn the periodic goal off. MarginDays is below it.
 	PeriodDays int
 	MarginDays int
@@ -112,13 +112,13 @@
 	// RepairAfterMillis is how long a lost instance is waited for before
 	// another takes its place.
 	RepairAfterMillis clock.Millis
-	// ExchangeMoves bounds the moves of one decision that only spread pools
+	// MaxExchangeMoves bounds the moves of one decision that only spread pools
 	// better.
-	ExchangeMoves int
+	MaxExchangeMoves int
 	// SurgePreference is roll-out-time, buffer-cost or off.
 	SurgePreference string
-	// SurgeKeep is the number of instances that each spare pool never lends.
-	SurgeKeep int
+	// SurgeMinSpare is the number of instances that each spare pool never lends.
+	SurgeMinSpare int
 	// Maintenance times the waves.
 	Maintenance Maintenance
 	// LogLevel is debug, info, warn or error.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -54,10 +54,10 @@
 		[]Key[Control]{platformKey()},
 		[]Key[Control]{
 			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "time that a lost instance is waited for before another takes its place", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
-			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "moves of one decision that only spread the pools better over failure domains; each is a disruption", func(c *Control) *int { return &c.ExchangeMoves }),
+			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "moves of one decision that only spread the pools better over failure domains; each is a disruption", func(c *Control) *int { return &c.MaxExchangeMoves }),
 			textKey("capacity", "surge", "roll-out-time", wordRule("roll-out-time", "buffer-cost", "off"), "what counts most when demand exceeds a pool: waiting requests, or idle instances; off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
-			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "instances of each spare pool that are never lent to a surge: the loss that stays covered", func(c *Control) *int { return &c.SurgeKeep }),
-			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.StepMillis }),
+			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "instances of each spare pool that are never lent to a surge: the loss that stays covered", func(c *Control) *int { return &c.SurgeMinSpare }),
+			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.MaintenanceMillis }),
 			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "time that the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
 			intKey("maintenance", "stuck-ms", "ms", "1200000", 100, 7*clock.Day, "time after which an instance in maintenance that did not come back counts as failed", func(c *Control) *clock.Millis { return &c.Maintenance.StuckMillis }),
 			intKey("maintenance", "period-days", "days", "49", 0, 3660, "time within which every instance is maintained once; 0 turns this off", func(c *Control) *int { return &c.Maintenance.PeriodDays }),
@@ -117,7 +117,7 @@
 		intKey("limits", "default-timeout-ms", "ms", "5000", 1, 10*clock.Minute, "timeout of a request that names none; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.DefaultTimeoutMillis }),
 		intKey("limits", "max-timeout-ms", "ms", "60000", 1, 10*clock.Minute, "longest timeout that a request may ask for", func(e *Entry) *clock.Millis { return &e.Limits.MaxTimeoutMillis }),
 		leaseKey(func(e *Entry) *clock.Millis { return &e.Limits.LeaseMillis }),
-		intKey("limits", "queue-ring", "asks", "4096", 16, 1<<20, "capacity of the dispatcher's input ring; asks beyond it are refused", func(e *Entry) *int { return &e.Limits.QueueRing }),
+		intKey("limits", "queue-ring", "asks", "4096", 16, 1<<20, "capacity of the dispatcher's input ring; asks beyond it are refused", func(e *Entry) *int { return &e.Limits.QueueRingSize }),
 		intKey("limits", "retry-percent", "%", "10", 0, 100, "retries of this process as a share of the first tries", func(e *Entry) *int { return &e.Limits.RetryPercent }),
 		drainKey(func(e *Entry) *clock.Millis { return &e.Limits.DrainMillis }),
 	}
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -176,7 +176,7 @@
 }
 
 func silent(s Status, p ProcessStatus) bool {
-	return p.Seen == 0 || s.Now-p.Seen > trail.ReportTimeout
+	return p.LastReportAt == 0 || s.Now-p.LastReportAt > trail.ReportTimeout
 }
 
 // Overview writes the status: the control member asked, and which process
@@ -192,7 +192,7 @@
 			if p.Version == s.Version && !silent(s, p) {
 				current++
 			}
-			t.add(p.Name, p.Zone, p.Version, behind(s, p), p.Drained, timeText(p.Since), ageText(s.Now, p.Seen), yes(silent(s, p)), p.Incarnation)
+			t.add(p.Name, p.Zone, p.Version, behind(s, p), p.DrainedVersion, timeText(p.VersionSince), ageText(s.Now, p.LastReportAt), yes(silent(s, p)), p.Incarnation)
 		}
 		return fmt.Sprintf("%s\n%s\n%d of %d processes are heard and run version %d\n", head, t, current, len(s.Processes), s.Version)
 	}, func() any { return statusObject(s) })
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -71,9 +71,9 @@
 		{"zone", p.Zone},
 		{"version", p.Version},
 		{"behind", behind(s, p)},
-		{"drained", p.Drained},
-		{"since-ms", p.Since},
-		{"seen-ms", p.Seen},
+		{"drained", p.DrainedVersion},
+		{"since-ms", p.VersionSince},
+		{"seen-ms", p.LastReportAt},
 		{"silent", silent(s, p)},
 		{"incarnation", p.Incarnation},
 	}
--- a/io/proto/report/report.go
+++ b/io/proto/report/report.go
@@ -32,12 +32,12 @@
 	Zone model.Zone
 	// Version is that of the table in force, and Since the time at which the
 	// leader first heard of it.
-	Version model.Version
-	Drained model.Version
-	Since   clock.Millis
-	// Seen is the time of the last report; 0 for never.
-	Seen        clock.Millis
-	Incarnation uint64
+	Version        model.Version
+	DrainedVersion model.Version
+	VersionSince   clock.Millis
+	// LastReportAt is the time of the last report; 0 for never.
+	LastReportAt clock.Millis
+	Incarnation  uint64
 }
 
 // Format is the form of a report.
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -49,8 +49,8 @@
 			{Name: "all", DeclaredAt: start, Deadline: start + clock.Day, Version: 91},
 		},
 		Processes: []report.ProcessStatus{
-			{Name: "e2", Zone: "zone-b", Version: 110, Drained: 110, Since: start - clock.Hour, Seen: start - 10*clock.Second, Incarnation: 3},
-			{Name: "e1", Zone: "zone-a", Version: 118, Drained: 117, Since: start - 5000, Seen: start - 400, Incarnation: 1},
+			{Name: "e2", Zone: "zone-b", Version: 110, DrainedVersion: 110, VersionSince: start - clock.Hour, LastReportAt: start - 10*clock.Second, Incarnation: 3},
+			{Name: "e1", Zone: "zone-a", Version: 118, DrainedVersion: 117, VersionSince: start - 5000, LastReportAt: start - 400, Incarnation: 1},
 			{Name: "e3", Zone: "zone-c"},
 		},
 	}
@@ -93,7 +93,7 @@
 		o.Maintenance[m.Name] = m
 	}
 	for _, p := range s.Processes {
-		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, DrainedVersion: p.Drained, LastReport: p.Seen})
+		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, DrainedVersion: p.DrainedVersion, LastReport: p.LastReportAt})
 	}
 	return o
 }
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -207,7 +207,7 @@
 	for _, m := range v.Entries {
 		s := seen[m.Name]
 		x.Processes = append(x.Processes, trail.Process{
-			Name: m.Name, Zone: m.Zone, Version: s.Version, DrainedVersion: s.Drained, LastReport: s.Seen,
+			Name: m.Name, Zone: m.Zone, Version: s.Version, DrainedVersion: s.DrainedVersion, LastReport: s.LastReportAt,
 		})
 	}
 	return x
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -142,14 +142,14 @@
 
 // Lend asks an entry process for loans of slots.
 func (c *Client) Lend(ctx context.Context, m model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
-	req := codec.AskToWire(a)
+	req := codec.LoanRequestToWire(a)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Lend(ctx, req)
 	if err != nil {
 		return lend.LoanResponse{}, c.failed("ask "+string(m.Name)+" for loans", err)
 	}
 	c.observe(resp.GetStamp())
-	return codec.AnswerFromWire(resp)
+	return codec.LoanResponseFromWire(resp)
 }
 
 // Return gives loans back to an entry process.
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -61,11 +61,11 @@
 // Lend answers an ask for loans.
 func (s *NeighbourServer) Lend(_ context.Context, r *wirepb.LendRequest) (*wirepb.LendResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	a, err := codec.AskFromWire(r)
+	a, err := codec.LoanRequestFromWire(r)
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("ask", err.Error())
 	}
-	w := codec.AnswerToWire(s.Lender.Lend(a))
+	w := codec.LoanResponseToWire(s.Lender.Lend(a))
 	w.Stamp = codec.StampToWire(s.Stamps.Next())
 	return w, nil
 }
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -61,8 +61,8 @@
 	for _, p := range w.GetProcesses() {
 		st.Processes = append(st.Processes, report.ProcessStatus{
 			Name: model.Process(p.GetName()), Zone: model.Zone(p.GetZone()),
-			Version: model.Version(p.GetVersion()), Drained: model.Version(p.GetDrained()),
-			Since: clock.Millis(p.GetSinceMs()), Seen: clock.Millis(p.GetSeenMs()),
+			Version: model.Version(p.GetVersion()), DrainedVersion: model.Version(p.GetDrained()),
+			VersionSince: clock.Millis(p.GetSinceMs()), LastReportAt: clock.Millis(p.GetSeenMs()),
 			Incarnation: p.GetIncarnation(),
 		})
 	}
--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -18,7 +18,7 @@
 
 func newChecker(cfg conf.Control, c clock.Clock) *checker {
 	return &checker{clock: c, set: limits.Settings{
-		MaintenanceMillis: cfg.Maintenance.StepMillis,
+		MaintenanceMillis: cfg.Maintenance.MaintenanceMillis,
 		PeriodMillis:      clock.Millis(cfg.Maintenance.PeriodDays) * clock.Day,
 	}}
 }
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -132,7 +132,7 @@
 	})
 	board := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
 		maint.ZTest{Z: stopScore, MinFailures: stopLeast}, waveSettings(cfg.Maintenance))
-	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.ExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
+	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.MaxExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
 	c.mover = mover.New(moverParts{
 		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
 		Waves: board, Capacity: capacity, Clock: clk, Events: c.record,
@@ -148,13 +148,13 @@
 	if cfg.SurgePreference == "buffer-cost" {
 		w = plan.BufferFirst()
 	}
-	w.MinSpare = cfg.SurgeKeep
+	w.MinSpare = cfg.SurgeMinSpare
 	return mover.NewSurgePlanner(plan.Cheapest{}, w, cfg.SurgePreference != "off")
 }
 
 func waveSettings(m conf.Maintenance) maint.Settings {
 	s := maint.Defaults()
-	s.MaintenanceMillis, s.CanaryMillis, s.StuckMillis = m.StepMillis, m.CanaryMillis, m.StuckMillis
+	s.MaintenanceMillis, s.CanaryMillis, s.StuckMillis = m.MaintenanceMillis, m.CanaryMillis, m.StuckMillis
 	s.PeriodMillis = clock.Millis(m.PeriodDays) * clock.Day
 	s.MarginMillis = clock.Millis(m.MarginDays) * clock.Day
 	return s
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -98,7 +98,7 @@
 	orders := ring.New[lend.Message](orderRing)
 	e.dispatch = entry.New(entry.Settings{
 		Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries,
-		RingSize: cfg.Limits.QueueRing, Lease: cfg.Limits.LeaseMillis, Events: e.events, LoanMessages: orders,
+		RingSize: cfg.Limits.QueueRingSize, Lease: cfg.Limits.LeaseMillis, Events: e.events, LoanMessages: orders,
 		Lending: lend.Settings{
 			Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries, Incarnation: incarnation,
 			Lease: cfg.Lending.LeaseMillis, MaxRequestTime: cfg.Limits.MaxTimeoutMillis,
