--- a/io/proto/codec/work.go
+++ b/io/proto/codec/call.go
@@ -8,19 +8,21 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// CallToWire maps a call of a submitter.
+// CallToWire converts a call about jobs (submit, cancel, query) to its message.
 func CallToWire(c runner.Call) *wirepb.WorkCall {
-	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: text(c.Host), Path: text(c.Path), Queue: text(c.Queue), Id: text(c.JobID)}
+	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: validUTF8(c.Host), Path: validUTF8(c.Path), Queue: validUTF8(c.Queue), Id: validUTF8(c.JobID)}
 	if c.Kind == runner.CallSubmit {
 		w.Job = JobToWire(c.Job)
 	}
 	return w
 }
 
-// CallFromWire maps a call of a submitter. A submitted job gets its identity
-// from the path.
+// CallFromWire converts a message to a call about jobs. It returns an error if
+// the kind is not defined or a submitted job is not valid. A job is
+// submitted under the id in the path or the JobID of the call, not under that of
+// the job.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
-	kind, err := enum("call", "kind", w.GetKind(), runner.CallList)
+	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
 	if err != nil {
 		return runner.Call{}, err
 	}
@@ -33,11 +35,11 @@
 	return c, err
 }
 
-// WorkAnswerToWire maps the answer to a call.
+// WorkAnswerToWire converts the answer to a call about jobs to its message.
 func WorkAnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
 	w := &wirepb.WorkAnswer{
 		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
-		RetryAfterMs: int64(a.RetryAfter), Reason: text(a.Reason), Jobs: list(a.Jobs, jobLineToWire),
+		RetryAfterMs: int64(a.RetryAfter), Reason: validUTF8(a.Reason), Jobs: mapAll(a.Jobs, jobSummaryToWire),
 	}
 	if a.Report != nil {
 		w.Report = jobReportToWire(*a.Report)
@@ -45,13 +47,14 @@
 	return w
 }
 
-// WorkAnswerFromWire maps the answer to a call.
+// WorkAnswerFromWire converts a message to the answer to a call about jobs. It
+// returns an error if the kind or the status of a job is not defined.
 func WorkAnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
-	kind, err := enum("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
+	kind, err := enumFromWire("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
 	if err != nil {
 		return runner.Answer{}, err
 	}
-	status, err := enum("answer", "status", w.GetStatus(), jobs.StatusCancelled)
+	status, err := enumFromWire("answer", "status", w.GetStatus(), jobs.StatusCancelled)
 	if err != nil {
 		return runner.Answer{}, err
 	}
@@ -59,12 +62,12 @@
 		Kind: kind, Status: status, Count: int(w.GetPending()),
 		RetryAfter: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
 	}
-	for _, wl := range w.GetJobs() {
-		l, err := jobLineFromWire(wl)
+	for _, wireJob := range w.GetJobs() {
+		summary, err := jobSummaryFromWire(wireJob)
 		if err != nil {
 			return runner.Answer{}, err
 		}
-		a.Jobs = append(a.Jobs, l)
+		a.Jobs = append(a.Jobs, summary)
 	}
 	if w.GetReport() != nil {
 		r, err := jobReportFromWire(w.GetReport())
@@ -76,14 +79,14 @@
 	return a, nil
 }
 
-func jobLineToWire(l sched.JobSummary) *wirepb.JobLine {
+func jobSummaryToWire(l sched.JobSummary) *wirepb.JobLine {
 	return &wirepb.JobLine{
-		Id: text(l.ID), Queue: text(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.Deadline),
+		Id: validUTF8(l.ID), Queue: validUTF8(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.Deadline),
 	}
 }
 
-func jobLineFromWire(w *wirepb.JobLine) (sched.JobSummary, error) {
-	status, err := enum("job", "status", w.GetStatus(), jobs.StatusCancelled)
+func jobSummaryFromWire(w *wirepb.JobLine) (sched.JobSummary, error) {
+	status, err := enumFromWire("job", "status", w.GetStatus(), jobs.StatusCancelled)
 	return sched.JobSummary{
 		ID: jobs.ID(w.GetId()), Queue: jobs.QueueName(w.GetQueue()), Status: status,
 		AcceptedAt: clock.Millis(w.GetAcceptedMs()), Deadline: clock.Millis(w.GetOnTimeMs()),
@@ -92,29 +95,29 @@
 
 func jobReportToWire(r sched.JobReport) *wirepb.JobReport {
 	return &wirepb.JobReport{
-		Job: jobLineToWire(r.JobSummary), Pool: text(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.EndedAt),
-		Steps: list(r.Steps, func(s sched.StepReport) *wirepb.JobStepReport {
+		Job: jobSummaryToWire(r.JobSummary), Pool: validUTF8(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.EndedAt),
+		Steps: mapAll(r.Steps, func(s sched.StepReport) *wirepb.JobStepReport {
 			return &wirepb.JobStepReport{
 				Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done),
-				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: text(s.WaitReason),
+				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: validUTF8(s.WaitReason),
 			}
 		}),
-		Runs: list(r.Runs, func(x sched.RunReport) *wirepb.JobRunReport {
+		Runs: mapAll(r.Runs, func(x sched.RunReport) *wirepb.JobRunReport {
 			return &wirepb.JobRunReport{
-				Task: taskToWire(x.Task), Run: int64(x.Run), Worker: text(x.Worker), Percent: int64(x.Percent),
-				StartedMs: int64(x.StartedAt), Stopping: text(x.StopReason),
+				Task: taskToWire(x.Task), Run: int64(x.Run), Worker: validUTF8(x.Worker), Percent: int64(x.Percent),
+				StartedMs: int64(x.StartedAt), Stopping: validUTF8(x.StopReason),
 			}
 		}),
 	}
 }
 
 func jobReportFromWire(w *wirepb.JobReport) (sched.JobReport, error) {
-	line, err := jobLineFromWire(w.GetJob())
+	summary, err := jobSummaryFromWire(w.GetJob())
 	if err != nil {
 		return sched.JobReport{}, err
 	}
 	r := sched.JobReport{
-		JobSummary: line, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), EndedAt: clock.Millis(w.GetEndedMs()),
+		JobSummary: summary, Pool: jobs.PoolName(w.GetPool()), Now: clock.Millis(w.GetNowMs()), EndedAt: clock.Millis(w.GetEndedMs()),
 	}
 	for _, s := range w.GetSteps() {
 		r.Steps = append(r.Steps, sched.StepReport{
--- a/io/proto/codec/work_test.go
+++ b/io/proto/codec/call_test.go
@@ -12,9 +12,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// TestWorkRoundTrip guards against a part of a call or of its answer that is
+// TestCallRoundTrip checks that no part of a call about jobs or of its answer is
 // lost between an operator or an entry process and the leader.
-func TestWorkRoundTrip(t *testing.T) {
+func TestCallRoundTrip(t *testing.T) {
 	for _, c := range []runner.Call{
 		{Kind: runner.CallSubmit, Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}},
 		{Kind: runner.CallExplain, JobID: "a"},
@@ -44,9 +44,9 @@
 	}
 }
 
-// TestWorkRefusals guards against kinds and states that this version does not
-// know and that would be taken for others.
-func TestWorkRefusals(t *testing.T) {
+// TestUndefinedCallValuesAreRejected checks that kinds and statuses that this
+// release does not define are rejected rather than taken for other values.
+func TestUndefinedCallValuesAreRejected(t *testing.T) {
 	_, err := CallFromWire(&wirepb.WorkCall{Kind: int32(runner.CallList) + 1})
 	assert.ErrorContains(t, err, "kind")
 	for _, w := range []*wirepb.WorkAnswer{
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -6,43 +6,44 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// ChangeToWire maps a change: the common fields and those that belong to its
-// kind.
+// ChangeToWire converts a change to its message: the fields that all kinds
+// share and those of the change's kind. Fields of other kinds are not sent.
 func ChangeToWire(c model.Change) *wirepb.Change {
 	w := &wirepb.Change{
 		Kind:    int32(c.Kind),
 		TimeMs:  int64(c.Time),
-		Request: text(c.Request),
-		Author:  text(c.Author),
+		Request: validUTF8(c.Request),
+		Author:  validUTF8(c.Author),
 		Base:    uint64(c.Base),
-		Note:    text(c.Note),
+		Note:    validUTF8(c.Note),
 	}
 	switch c.Kind {
 	case model.ChangeContractApply:
 		w.Contract = ContractToWire(c.Contract)
 	case model.ChangeContractRemove:
-		w.Customer = text(c.Customer)
+		w.Customer = validUTF8(c.Customer)
 	case model.ChangeMaintenanceDeclare, model.ChangeMaintenanceCancel:
 		w.Maintenance = MaintenanceToWire(c.Maintenance)
 	case model.ChangeInstances:
-		w.Instances = list(c.Instances, InstanceStepToWire)
+		w.Instances = mapAll(c.Instances, InstanceStepToWire)
 	case model.ChangeClaims:
-		w.Claims = list(c.Claims, ClaimToWire)
-		w.Process, w.Run = text(c.Process), c.Incarnation
+		w.Claims = mapAll(c.Claims, ClaimToWire)
+		w.Process, w.Run = validUTF8(c.Process), c.Incarnation
 	case model.ChangeOutcomes:
-		w.Outcomes = list(c.Outcomes, ClaimOutcomeToWire)
+		w.Outcomes = mapAll(c.Outcomes, ClaimOutcomeToWire)
 	case model.ChangeProcessGone:
-		w.Process = text(c.Process)
+		w.Process = validUTF8(c.Process)
 	case model.ChangeJobs:
-		w.Ops = list(c.Ops, OpToWire)
+		w.Ops = mapAll(c.Ops, OpToWire)
 	}
 	return w
 }
 
-// ChangeFromWire maps a change. The names in the fields that belong to its
-// kind are required; the other fields are ignored.
+// ChangeFromWire converts a message to a change. It returns an error if the kind
+// is not defined or a name in the fields of that kind is empty. Fields of other
+// kinds are ignored.
 func ChangeFromWire(w *wirepb.Change) (model.Change, error) {
-	kind, err := enum("change", "kind", w.GetKind(), model.ChangeJobs)
+	kind, err := enumFromWire("change", "kind", w.GetKind(), model.ChangeJobs)
 	if err != nil {
 		return model.Change{}, err
 	}
@@ -63,17 +64,17 @@
 	case model.ChangeMaintenanceDeclare, model.ChangeMaintenanceCancel:
 		c.Maintenance, err = MaintenanceFromWire(w.GetMaintenance())
 	case model.ChangeInstances:
-		c.Instances, err = listFrom(w.GetInstances(), InstanceStepFromWire)
+		c.Instances, err = tryMapAll(w.GetInstances(), InstanceStepFromWire)
 	case model.ChangeClaims:
-		c.Claims, err = listFrom(w.GetClaims(), ClaimFromWire)
+		c.Claims, err = tryMapAll(w.GetClaims(), ClaimFromWire)
 		c.Process, c.Incarnation = model.Process(w.GetProcess()), w.GetRun()
 	case model.ChangeOutcomes:
-		c.Outcomes, err = listFrom(w.GetOutcomes(), ClaimOutcomeFromWire)
+		c.Outcomes, err = tryMapAll(w.GetOutcomes(), ClaimOutcomeFromWire)
 	case model.ChangeProcessGone:
 		c.Process = model.Process(w.GetProcess())
 		err = required("change", "process", w.GetProcess())
 	case model.ChangeJobs:
-		c.Ops, err = listFrom(w.GetOps(), OpFromWire)
+		c.Ops, err = tryMapAll(w.GetOps(), OpFromWire)
 	}
 	if err != nil {
 		return model.Change{}, err
@@ -81,12 +82,14 @@
 	return c, nil
 }
 
-// InstanceStepToWire maps a step.
+// InstanceStepToWire converts the change of one instance, from a base version to
+// its new state, to its message.
 func InstanceStepToWire(s model.InstanceStep) *wirepb.InstanceStep {
 	return &wirepb.InstanceStep{Base: uint64(s.Base), Instance: InstanceToWire(s.Instance)}
 }
 
-// InstanceStepFromWire maps a step.
+// InstanceStepFromWire converts a message to the change of one instance. It
+// returns an error if the instance is not valid.
 func InstanceStepFromWire(w *wirepb.InstanceStep) (model.InstanceStep, error) {
 	i, err := InstanceFromWire(w.GetInstance())
 	if err != nil {
@@ -95,12 +98,14 @@
 	return model.InstanceStep{Base: model.Version(w.GetBase()), Instance: i}, nil
 }
 
-// ClaimKeyToWire maps a key.
+// ClaimKeyToWire converts a claim key to its message. The idempotency key is
+// sent as bytes, because callers may choose one that is not UTF-8.
 func ClaimKeyToWire(k model.ClaimKey) *wirepb.ClaimKey {
-	return &wirepb.ClaimKey{Customer: text(k.Customer), Service: text(k.Service), Key: []byte(k.Key)}
+	return &wirepb.ClaimKey{Customer: validUTF8(k.Customer), Service: validUTF8(k.Service), Key: []byte(k.Key)}
 }
 
-// ClaimKeyFromWire maps a key; all its fields are required.
+// ClaimKeyFromWire converts a message to a claim key. It returns an error if any
+// field is empty.
 func ClaimKeyFromWire(w *wirepb.ClaimKey) (model.ClaimKey, error) {
 	k := model.ClaimKey{
 		Customer: model.Customer(w.GetCustomer()),
@@ -114,13 +119,13 @@
 	return k, nil
 }
 
-// ClaimToWire maps a claim.
+// ClaimToWire converts a claim to its message.
 func ClaimToWire(c model.Claim) *wirepb.Claim {
-	return &wirepb.Claim{Key: ClaimKeyToWire(c.Key), Token: text(c.Token), Owner: text(c.Owner)}
+	return &wirepb.Claim{Key: ClaimKeyToWire(c.Key), Token: validUTF8(c.Token), Owner: validUTF8(c.Owner)}
 }
 
-// ClaimFromWire maps a claim; its token is required, because claims without
-// one could not be told apart.
+// ClaimFromWire converts a message to a claim. It returns an error if the token
+// is empty, because claims without a token cannot be distinguished.
 func ClaimFromWire(w *wirepb.Claim) (model.Claim, error) {
 	k, err := ClaimKeyFromWire(w.GetKey())
 	if err != nil {
@@ -132,18 +137,19 @@
 	return model.Claim{Key: k, Token: w.GetToken(), Owner: model.Process(w.GetOwner())}, nil
 }
 
-// ClaimOutcomeToWire maps an outcome.
+// ClaimOutcomeToWire converts the outcome of a claimed request to its message.
 func ClaimOutcomeToWire(o model.ClaimOutcome) *wirepb.ClaimOutcome {
 	return &wirepb.ClaimOutcome{
 		Key:    ClaimKeyToWire(o.Key),
-		Token:  text(o.Token),
+		Token:  validUTF8(o.Token),
 		NotRun: o.NotRun,
 		State:  int32(o.State),
 		Status: int64(o.Status),
 	}
 }
 
-// ClaimOutcomeFromWire maps an outcome; its token is required.
+// ClaimOutcomeFromWire converts a message to the outcome of a claimed request.
+// It returns an error if the token is empty or the state is not defined.
 func ClaimOutcomeFromWire(w *wirepb.ClaimOutcome) (model.ClaimOutcome, error) {
 	const op = "claim outcome"
 	k, err := ClaimKeyFromWire(w.GetKey())
@@ -153,7 +159,7 @@
 	if err := required(op, "token", w.GetToken()); err != nil {
 		return model.ClaimOutcome{}, err
 	}
-	state, err := enum(op, "state", w.GetState(), model.ClaimUnknown)
+	state, err := enumFromWire(op, "state", w.GetState(), model.ClaimUnknown)
 	if err != nil {
 		return model.ClaimOutcome{}, err
 	}
@@ -166,39 +172,41 @@
 	}, nil
 }
 
-// ClaimAnswerToWire maps an answer.
+// ClaimAnswerToWire converts the answer to a claim to its message.
 func ClaimAnswerToWire(a model.ClaimAnswer) *wirepb.ClaimAnswer {
 	return &wirepb.ClaimAnswer{Granted: a.Granted, First: int32(a.FirstState), Status: int64(a.Status)}
 }
 
-// ClaimAnswerFromWire maps an answer.
+// ClaimAnswerFromWire converts a message to the answer to a claim. It returns an
+// error if the state of the request that holds the key is not defined.
 func ClaimAnswerFromWire(w *wirepb.ClaimAnswer) (model.ClaimAnswer, error) {
-	first, err := enum("claim answer", "first", w.GetFirst(), model.ClaimUnknown)
+	first, err := enumFromWire("claim answer", "first", w.GetFirst(), model.ClaimUnknown)
 	if err != nil {
 		return model.ClaimAnswer{}, err
 	}
 	return model.ClaimAnswer{Granted: w.GetGranted(), FirstState: first, Status: int(w.GetStatus())}, nil
 }
 
-// ResultToWire maps a result.
+// ResultToWire converts the result of a change to its message.
 func ResultToWire(r model.Result) *wirepb.Result {
 	return &wirepb.Result{
 		Kind:    int32(r.Kind),
 		Version: uint64(r.Version),
-		Winner:  text(r.Winner),
-		Differs: list(r.DifferingFields, text[string]),
-		Reason:  text(r.Reason),
-		Claims:  list(r.Claims, ClaimAnswerToWire),
+		Winner:  validUTF8(r.Winner),
+		Differs: mapAll(r.DifferingFields, validUTF8[string]),
+		Reason:  validUTF8(r.Reason),
+		Claims:  mapAll(r.Claims, ClaimAnswerToWire),
 	}
 }
 
-// ResultFromWire maps a result.
+// ResultFromWire converts a message to the result of a change. It returns an
+// error if the kind or the state of a claim is not defined.
 func ResultFromWire(w *wirepb.Result) (model.Result, error) {
-	kind, err := enum("result", "kind", w.GetKind(), model.ResultInvalid)
+	kind, err := enumFromWire("result", "kind", w.GetKind(), model.ResultInvalid)
 	if err != nil {
 		return model.Result{}, err
 	}
-	claims, err := listFrom(w.GetClaims(), ClaimAnswerFromWire)
+	claims, err := tryMapAll(w.GetClaims(), ClaimAnswerFromWire)
 	if err != nil {
 		return model.Result{}, err
 	}
--- a/io/proto/codec/codec.go
+++ b/io/proto/codec/codec.go
@@ -9,8 +9,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Codec turns changes, entries and states into bytes and back. It has no
-// state and serves as a type parameter of the parts that store or propose.
+// Codec encodes changes, log entries and replicated states as bytes and decodes
+// them. It holds no data; components that store entries or propose changes take
+// it as a type parameter.
 type Codec struct{}
 
 // EncodeChange returns the stored form of a change.
@@ -29,30 +30,34 @@
 	return decode("log entry", b, &wirepb.LogEntry{}, EntryFromWire)
 }
 
-// EncodeState returns the stored form of the replicated state; equal states
-// give equal bytes.
+// EncodeState returns the stored form of the replicated state. Equal states give
+// equal bytes.
 func (Codec) EncodeState(s *fleet.State) []byte { return encode(StateToWire(s)) }
 
-// DecodeState is the inverse of EncodeState. The state that it returns
-// answers every later change as the encoded one.
+// DecodeState is the inverse of EncodeState. The decoded state gives the same
+// result for every later change as the encoded one, because the order and the
+// times by which results and claims expire are restored too.
 func (Codec) DecodeState(b []byte) (*fleet.State, error) {
 	return decode("state", b, &wirepb.FleetSnapshot{}, StateFromWire)
 }
 
-// encode cannot fail: every string of a message was made valid UTF-8 when it
-// was mapped, and no message has a required field.
+// encode returns the deterministic protobuf encoding of m. Marshalling cannot
+// fail: the ToWire functions make every string valid UTF-8, and no message has a
+// required field.
 func encode(m proto.Message) []byte {
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
-		panic("codec: a mapped message does not marshal: " + err.Error())
+		panic("codec: cannot marshal a converted message: " + err.Error())
 	}
 	return b
 }
 
+// decode parses b into m and converts m with from. op names the message in
+// errors.
 func decode[M proto.Message, V any](op string, b []byte, m M, from func(M) (V, error)) (V, error) {
 	if err := proto.Unmarshal(b, m); err != nil {
-		var none V
-		return none, &Error{Op: op, Kind: KindEncoding, Err: err}
+		var zero V
+		return zero, &Error{Op: op, Kind: KindEncoding, Err: err}
 	}
 	return from(m)
 }
--- a/io/proto/codec/convert.go
+++ b/io/proto/codec/convert.go
@@ -2,15 +2,15 @@
 
 import "strings"
 
-// text prepares a string for the wire. Protobuf refuses a string that is not
-// UTF-8, and an encoder must not fail: such bytes become the replacement
-// character. Idempotency keys, which callers choose, travel as bytes instead.
-func text[S ~string](s S) string {
+// validUTF8 returns s with each run of invalid UTF-8 replaced by U+FFFD. Protobuf
+// rejects strings that are not UTF-8, and encoding must not fail. Idempotency
+// keys, which callers choose freely, are sent as bytes instead.
+func validUTF8[S ~string](s S) string {
 	return strings.ToValidUTF8(string(s), "\uFFFD")
 }
 
-// list maps every item; the result is nil for no items.
-func list[A, B any](in []A, f func(A) B) []B {
+// mapAll applies f to every item. It returns nil if there are no items.
+func mapAll[A, B any](in []A, f func(A) B) []B {
 	if len(in) == 0 {
 		return nil
 	}
@@ -21,8 +21,9 @@
 	return out
 }
 
-// listFrom maps every item and stops at the first error.
-func listFrom[A, B any](in []A, f func(A) (B, error)) ([]B, error) {
+// tryMapAll applies f to every item and returns the first error. It returns nil
+// if there are no items.
+func tryMapAll[A, B any](in []A, f func(A) (B, error)) ([]B, error) {
 	if len(in) == 0 {
 		return nil, nil
 	}
--- a/io/proto/codec/errors.go
+++ b/io/proto/codec/errors.go
@@ -2,10 +2,10 @@
 
 import "fmt"
 
-// Kind tells the reasons of a refused message apart.
+// Kind is the reason why a message was rejected.
 type Kind int
 
-// The kinds of error.
+// Reasons for rejecting a message.
 const (
 	// KindEncoding: the bytes are not a message of the expected type.
 	KindEncoding Kind = iota
@@ -17,7 +17,7 @@
 
 var kindNames = [...]string{"encoding", "missing field", "value out of range"}
 
-// String returns the name used in messages.
+// String returns the name of the kind as it appears in error messages.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "unknown"
@@ -25,15 +25,15 @@
 	return kindNames[k]
 }
 
-// Error is returned by every decoder.
+// Error is the error type that every decoder of the package returns.
 type Error struct {
-	// Op names the message that was decoded.
+	// Op names the message that was being decoded.
 	Op   string
 	Kind Kind
 	Err  error
 }
 
-// Error returns the message, the kind and the cause.
+// Error returns the name of the message, the kind and the cause.
 func (e *Error) Error() string {
 	return fmt.Sprintf("codec: %s: %s: %v", e.Op, e.Kind, e.Err)
 }
@@ -41,22 +41,23 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// required returns an error when one of the fields is empty. fields holds
-// pairs of a field's name and its value.
+// required returns an error if one of the fields is empty. fields holds pairs:
+// the name of a field, then its value.
 func required(op string, fields ...string) error {
 	for i := 0; i+1 < len(fields); i += 2 {
 		if fields[i+1] == "" {
-			return &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("%s is empty", fields[i])}
+			return &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("required field %s is empty", fields[i])}
 		}
 	}
 	return nil
 }
 
-// enum converts a number from the wire to an enumeration whose last value is
-// last.
-func enum[E ~int | ~uint8](op, field string, n int32, last E) (E, error) {
+// enumFromWire converts a number to an enumeration with the values 0 to last. It
+// returns an error for any other number, such as a value that a newer release
+// defines.
+func enumFromWire[E ~int | ~uint8](op, field string, n int32, last E) (E, error) {
 	if n < 0 || int64(n) > int64(last) {
-		return 0, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("%s is %d, at most %d is defined", field, n, last)}
+		return 0, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("%s is %d; allowed: 0 to %d", field, n, last)}
 	}
 	return E(n), nil
 }
--- a/io/proto/codec/event.go
+++ b/io/proto/codec/event.go
@@ -5,24 +5,25 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// EventToWire maps an event of the time line.
+// EventToWire converts an event of the event log to its message.
 func EventToWire(e model.Event) *wirepb.Event {
 	return &wirepb.Event{
 		Stamp:    StampToWire(e.Stamp),
-		Process:  text(e.Process),
+		Process:  validUTF8(e.Process),
 		Seq:      e.Seq,
-		Kind:     text(e.Kind),
-		Customer: text(e.Customer),
-		Pool:     text(e.Pool),
-		Instance: text(e.Instance),
-		Request:  text(e.Request),
+		Kind:     validUTF8(e.Kind),
+		Customer: validUTF8(e.Customer),
+		Pool:     validUTF8(e.Pool),
+		Instance: validUTF8(e.Instance),
+		Request:  validUTF8(e.Request),
 		Version:  uint64(e.Version),
-		Limit:    text(e.Limit),
-		Detail:   text(e.Detail),
+		Limit:    validUTF8(e.Limit),
+		Detail:   validUTF8(e.Detail),
 	}
 }
 
-// EventFromWire maps an event; the process and the kind are required.
+// EventFromWire converts a message to an event. It returns an error if the
+// process or the kind is empty.
 func EventFromWire(w *wirepb.Event) (model.Event, error) {
 	if err := required("event", "process", w.GetProcess(), "kind", w.GetKind()); err != nil {
 		return model.Event{}, err
@@ -42,12 +43,13 @@
 	}, nil
 }
 
-// ProcessToWire maps a process of the settings.
+// ProcessToWire converts a process of the settings to its message.
 func ProcessToWire(m model.Member) *wirepb.Member {
-	return &wirepb.Member{Name: text(m.Name), Zone: text(m.Zone), Address: text(m.Address)}
+	return &wirepb.Member{Name: validUTF8(m.Name), Zone: validUTF8(m.Zone), Address: validUTF8(m.Address)}
 }
 
-// ProcessFromWire maps a process of the settings.
+// ProcessFromWire converts a message to a process of the settings. Every field
+// may be empty.
 func ProcessFromWire(w *wirepb.Member) model.Member {
 	return model.Member{
 		Name: model.Process(w.GetName()), Zone: model.Zone(w.GetZone()), Address: w.GetAddress(),
--- a/io/proto/codec/group.go
+++ b/io/proto/codec/group.go
@@ -8,28 +8,29 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// EntryToWire maps a log entry.
+// EntryToWire converts a Raft log entry to its message.
 func EntryToWire(e raft.Entry) *wirepb.LogEntry {
 	return &wirepb.LogEntry{
 		Index:   e.Index,
 		Term:    e.Term,
 		Kind:    int32(e.Kind),
 		Data:    e.Data,
-		Members: list(e.Members, MemberToWire),
+		Members: mapAll(e.Members, MemberToWire),
 	}
 }
 
-// EntryFromWire maps a log entry. Indexes start at 1.
+// EntryFromWire converts a message to a Raft log entry. It returns an error if
+// the kind is not defined or the index is 0; log indexes start at 1.
 func EntryFromWire(w *wirepb.LogEntry) (raft.Entry, error) {
 	const op = "log entry"
-	kind, err := enum(op, "kind", w.GetKind(), raft.EntryMembers)
+	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.EntryMembers)
 	if err != nil {
 		return raft.Entry{}, err
 	}
 	if w.GetIndex() == 0 {
-		return raft.Entry{}, &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("index is 0")}
+		return raft.Entry{}, &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("index is 0; indexes start at 1")}
 	}
-	members, err := listFrom(w.GetMembers(), MemberFromWire)
+	members, err := tryMapAll(w.GetMembers(), MemberFromWire)
 	if err != nil {
 		return raft.Entry{}, err
 	}
@@ -42,18 +43,19 @@
 	}, nil
 }
 
-// MemberToWire maps a member of the group.
+// MemberToWire converts a member of the Raft group to its message.
 func MemberToWire(m raft.Member) *wirepb.GroupMember {
 	return &wirepb.GroupMember{
 		Id:      uint64(m.ID),
-		Name:    text(m.Name),
-		Zone:    text(m.Zone),
-		Address: text(m.Address),
+		Name:    validUTF8(m.Name),
+		Zone:    validUTF8(m.Zone),
+		Address: validUTF8(m.Address),
 		Voter:   m.Voter,
 	}
 }
 
-// MemberFromWire maps a member of the group; its identity is required.
+// MemberFromWire converts a message to a member of the Raft group. It returns an
+// error if the id is 0.
 func MemberFromWire(w *wirepb.GroupMember) (raft.Member, error) {
 	if w.GetId() == 0 {
 		return raft.Member{}, &Error{Op: "group member", Kind: KindMissing, Err: fmt.Errorf("id is 0")}
@@ -67,33 +69,34 @@
 	}, nil
 }
 
-// HardStateToWire maps a hard state.
+// HardStateToWire converts the durable Raft state (term, vote and commit index)
+// to its message.
 func HardStateToWire(h raft.HardState) *wirepb.HardState {
 	return &wirepb.HardState{Term: h.Term, Vote: uint64(h.Vote), Commit: h.Commit}
 }
 
-// HardStateFromWire maps a hard state.
+// HardStateFromWire converts a message to the durable Raft state.
 func HardStateFromWire(w *wirepb.HardState) raft.HardState {
 	return raft.HardState{Term: w.GetTerm(), Vote: raft.MemberID(w.GetVote()), Commit: w.GetCommit()}
 }
 
-// SnapshotMetaToWire maps the description of a snapshot.
+// SnapshotMetaToWire converts the metadata of a snapshot to its message.
 func SnapshotMetaToWire(m raft.SnapshotMeta) *wirepb.SnapshotMeta {
-	return &wirepb.SnapshotMeta{Index: m.Index, Term: m.Term, Members: list(m.Members, MemberToWire)}
+	return &wirepb.SnapshotMeta{Index: m.Index, Term: m.Term, Members: mapAll(m.Members, MemberToWire)}
 }
 
-// SnapshotMetaFromWire maps the description of a snapshot; a missing one is
-// that of no snapshot.
+// SnapshotMetaFromWire converts a message to the metadata of a snapshot. A nil
+// message gives the zero value, which stands for no snapshot.
 func SnapshotMetaFromWire(w *wirepb.SnapshotMeta) (raft.SnapshotMeta, error) {
-	members, err := listFrom(w.GetMembers(), MemberFromWire)
+	members, err := tryMapAll(w.GetMembers(), MemberFromWire)
 	if err != nil {
 		return raft.SnapshotMeta{}, err
 	}
 	return raft.SnapshotMeta{Index: w.GetIndex(), Term: w.GetTerm(), Members: members}, nil
 }
 
-// MessageToWire maps a message. The description of a snapshot is sent with
-// the messages that carry one only.
+// MessageToWire converts a Raft message to its protobuf message. The metadata of
+// a snapshot is included only if it is not zero.
 func MessageToWire(m raft.Message) *wirepb.RaftMessage {
 	w := &wirepb.RaftMessage{
 		Kind:    int32(m.Kind),
@@ -103,7 +106,7 @@
 		Index:   m.Index,
 		LogTerm: m.LogTerm,
 		Commit:  m.Commit,
-		Entries: list(m.Entries, EntryToWire),
+		Entries: mapAll(m.Entries, EntryToWire),
 		Reject:  m.Reject,
 		Hint:    m.Hint,
 		Context: m.Context,
@@ -117,18 +120,19 @@
 	return w
 }
 
-// MessageFromWire maps a message. The sender and the receiver are required,
-// and entries must follow on each other.
+// MessageFromWire converts a protobuf message to a Raft message. It returns an
+// error if the kind is not defined, the sender or the receiver is 0, or the
+// indexes of the entries are not consecutive.
 func MessageFromWire(w *wirepb.RaftMessage) (raft.Message, error) {
 	const op = "raft message"
-	kind, err := enum(op, "kind", w.GetKind(), raft.MsgSnapshotReply)
+	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.MsgSnapshotReply)
 	if err != nil {
 		return raft.Message{}, err
 	}
 	if w.GetFrom() == 0 || w.GetTo() == 0 {
-		return raft.Message{}, &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("it is from %d to %d", w.GetFrom(), w.GetTo())}
+		return raft.Message{}, &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("sender or receiver is missing: from %d to %d", w.GetFrom(), w.GetTo())}
 	}
-	entries, err := listFrom(w.GetEntries(), EntryFromWire)
+	entries, err := tryMapAll(w.GetEntries(), EntryFromWire)
 	if err != nil {
 		return raft.Message{}, err
 	}
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -8,23 +8,25 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// maxTasks bounds the tasks of one occurrence of a job, so that a malformed
-// record cannot make a process allocate without a bound.
+// maxTasks limits the tasks of a job over all its occurrences, so that a
+// malformed record cannot make a process allocate memory without limit.
 const maxTasks = 100_000
 
-// JobToWire maps a job. Its specification may be any bytes.
+// JobToWire converts a job to its message. The specification is sent as bytes,
+// because it need not be UTF-8.
 func JobToWire(j jobs.Job) *wirepb.Job {
 	return &wirepb.Job{
-		Id: text(j.ID), Queue: text(j.Queue), Pool: text(j.Pool), Spec: []byte(j.Spec),
-		Steps: list(j.Steps, jobStepToWire),
+		Id: validUTF8(j.ID), Queue: validUTF8(j.Queue), Pool: validUTF8(j.Pool), Spec: []byte(j.Spec),
+		Steps: mapAll(j.Steps, jobStepToWire),
 		Times: int64(j.OccurrenceCount), FirstMs: int64(j.FirstDue), IntervalMs: int64(j.Interval),
 		Priority: int64(j.Priority), Attempts: int64(j.MaxAttempts),
 		TargetMs: int64(j.Target), StretchPermille: int64(j.StretchPermille), AcceptedMs: int64(j.AcceptedAt),
 	}
 }
 
-// JobFromWire maps a job. It must have an identity and steps whose order and
-// size are possible.
+// JobFromWire converts a message to a job. It returns an error if the id is
+// empty, there are no steps, a step has no tasks or depends on itself or a later
+// step, or the job has more than maxTasks tasks.
 func JobFromWire(w *wirepb.Job) (jobs.Job, error) {
 	if err := required("job", "id", w.GetId()); err != nil {
 		return jobs.Job{}, err
@@ -35,15 +37,15 @@
 		Priority: int(w.GetPriority()), MaxAttempts: int(w.GetAttempts()),
 		Target: clock.Millis(w.GetTargetMs()), StretchPermille: int(w.GetStretchPermille()), AcceptedAt: clock.Millis(w.GetAcceptedMs()),
 	}
-	total := int64(0)
+	totalTasks := int64(0)
 	for i, s := range w.GetSteps() {
-		total += s.GetCount()
-		if s.GetCount() < 1 || total > maxTasks {
+		totalTasks += s.GetCount()
+		if s.GetCount() < 1 || totalTasks > maxTasks {
 			return j, jobError(KindRange, "step %d has %d tasks", i, s.GetCount())
 		}
-		for _, before := range s.GetAfter() {
-			if before < 0 || before >= int64(i) {
-				return j, jobError(KindRange, "step %d waits for step %d", i, before)
+		for _, dependency := range s.GetAfter() {
+			if dependency < 0 || dependency >= int64(i) {
+				return j, jobError(KindRange, "step %d depends on step %d; allowed: earlier steps only", i, dependency)
 			}
 		}
 		j.Steps = append(j.Steps, jobStepFromWire(s))
@@ -51,8 +53,8 @@
 	if len(j.Steps) == 0 {
 		return j, jobError(KindMissing, "job %s has no steps", j.ID)
 	}
-	if j.OccurrenceCount < 0 || int64(j.OccurrenceCount)*total > maxTasks {
-		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.OccurrenceCount, total)
+	if j.OccurrenceCount < 0 || int64(j.OccurrenceCount)*totalTasks > maxTasks {
+		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.OccurrenceCount, totalTasks)
 	}
 	return j, nil
 }
@@ -64,14 +66,14 @@
 func jobStepToWire(s jobs.Step) *wirepb.JobStep {
 	w := &wirepb.JobStep{
 		Count: int64(s.TaskCount), EstimateMs: int64(s.Estimate), Saves: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack,
-		Label: text(s.RequiredLabel), DataRack: text(s.DataRack), PerWorker: int64(s.MaxPerWorker), Copies: s.Speculative,
-		Lasting: s.LongRunning, Image: text(s.Image), LatencyMs: int64(s.LatencyTarget), Filler: s.BestEffort, MayMiss: int64(s.MaxUnavailable),
+		Label: validUTF8(s.RequiredLabel), DataRack: validUTF8(s.DataRack), PerWorker: int64(s.MaxPerWorker), Copies: s.Speculative,
+		Lasting: s.LongRunning, Image: validUTF8(s.Image), LatencyMs: int64(s.LatencyTarget), Filler: s.BestEffort, MayMiss: int64(s.MaxUnavailable),
 		Need: &wirepb.JobSize{
 			MilliCores: int64(s.Resources.MilliCores), MemoryMib: int64(s.Resources.MemoryMiB), Accelerators: int64(s.Resources.Accelerators),
 		},
 	}
-	for _, before := range s.DependsOn {
-		w.After = append(w.After, int64(before))
+	for _, dependency := range s.DependsOn {
+		w.After = append(w.After, int64(dependency))
 	}
 	return w
 }
@@ -87,14 +89,14 @@
 			Accelerators: int(w.GetNeed().GetAccelerators()),
 		},
 	}
-	for _, before := range w.GetAfter() {
-		s.DependsOn = append(s.DependsOn, int(before))
+	for _, dependency := range w.GetAfter() {
+		s.DependsOn = append(s.DependsOn, int(dependency))
 	}
 	return s
 }
 
 func taskToWire(t jobs.TaskID) *wirepb.JobTask {
-	return &wirepb.JobTask{Job: text(t.Job), Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
+	return &wirepb.JobTask{Job: validUTF8(t.Job), Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
 }
 
 func taskFromWire(w *wirepb.JobTask) jobs.TaskID {
@@ -103,11 +105,11 @@
 	}
 }
 
-// OpToWire maps an operation on submitted work.
+// OpToWire converts an operation on the replicated job state to its message.
 func OpToWire(o jobs.Op) *wirepb.JobOp {
 	w := &wirepb.JobOp{
-		Kind: int32(o.Kind), Run: int64(o.Run), Worker: text(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
-		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: text(o.Machine),
+		Kind: int32(o.Kind), Run: int64(o.Run), Worker: validUTF8(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
+		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: validUTF8(o.Machine),
 	}
 	if o.Task != (jobs.TaskID{}) {
 		w.Task = taskToWire(o.Task)
@@ -124,14 +126,15 @@
 	return w
 }
 
-// OpFromWire maps an operation on submitted work; the part that its kind calls
-// for is required.
+// OpFromWire converts a message to an operation on the replicated job state. It
+// returns an error if the kind or the result is not defined, or if a submitted
+// job is not valid. A missing configuration or wave gives an empty one.
 func OpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
 	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpMaintenanceStarted) {
-		return jobs.Op{}, jobError(KindRange, "operation of kind %d", w.GetKind())
+		return jobs.Op{}, jobError(KindRange, "operation has the undefined kind %d", w.GetKind())
 	}
 	if w.GetHow() < 0 || w.GetHow() > int32(jobs.ResultLost) {
-		return jobs.Op{}, jobError(KindRange, "end of kind %d", w.GetHow())
+		return jobs.Op{}, jobError(KindRange, "operation has the undefined result %d", w.GetHow())
 	}
 	o := jobs.Op{
 		Kind: jobs.OpKind(w.GetKind()), Task: taskFromWire(w.GetTask()), Run: int(w.GetRun()),
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -12,7 +12,8 @@
 	"camphorridge/core/state/model"
 )
 
-// anyJob generates one of a few jobs, so that operations meet.
+// anyJob generates a job with one of three ids, so that several operations of a
+// sequence concern the same job.
 func anyJob(t *rapid.T) jobs.Job {
 	j := jobs.Job{
 		ID: anyJobID(t), Queue: "q", Pool: "p", Spec: "\x00\xff", MaxAttempts: 2, Target: 3600, StretchPermille: 1600,
@@ -29,7 +30,7 @@
 	return jobs.ID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job"))
 }
 
-// anyOp generates an operation on submitted work.
+// anyOp generates an operation on the replicated job state.
 func anyOp(t *rapid.T) jobs.Op {
 	o := jobs.Op{
 		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpMaintenanceStarted)).Draw(t, "op")),
@@ -54,20 +55,20 @@
 	return o
 }
 
-// TestJobsChangeRoundTrip fails when a part of an operation is lost in the
-// log.
+// TestJobsChangeRoundTrip checks that no part of an operation is lost when it is
+// encoded for the log and decoded.
 func TestJobsChangeRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := model.Change{Kind: model.ChangeJobs, Time: 5, Ops: some(t, anyOp)}
+		c := model.Change{Kind: model.ChangeJobs, Time: 5, Ops: upToThree(t, anyOp)}
 		got, err := Codec{}.DecodeChange(Codec{}.EncodeChange(c))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, c, cmpopts.EquateEmpty())
 	})
 }
 
-// TestJobRefusals guards against jobs that could not be scheduled, or that
-// would make a process allocate without a bound.
-func TestJobRefusals(t *testing.T) {
+// TestInvalidJobsAreRejected checks that jobs are not decoded if they cannot be
+// scheduled or would make a process allocate memory without limit.
+func TestInvalidJobsAreRejected(t *testing.T) {
 	step := jobs.Step{TaskCount: 1}
 	cases := []struct {
 		name string
@@ -78,9 +79,9 @@
 		{"no tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{}}}},
 		{"too many tasks", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: maxTasks + 1}}}},
 		{"too many occurrences", jobs.Job{ID: "a", Steps: []jobs.Step{step}, OccurrenceCount: maxTasks + 1}},
-		{"waits for itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{0}}}}},
-		{"waits for a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{1}}, step}}},
-		{"waits for no step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{-1}}}}},
+		{"depends on itself", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{0}}}}},
+		{"depends on a later step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{1}}, step}}},
+		{"depends on a negative step", jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1, DependsOn: []int{-1}}}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/proto/codec/jobs.go
+++ b/io/proto/codec/jobstate.go
@@ -13,17 +13,18 @@
 	w := &wirepb.JobConfig{Version: c.Version, Document: c.Document}
 	for _, q := range c.Queues {
 		w.Queues = append(w.Queues, &wirepb.JobQueue{
-			Name: text(q.Name), Host: text(q.Host), Prefix: text(q.Prefix), Pool: text(q.Pool), Priority: int64(q.Priority),
+			Name: validUTF8(q.Name), Host: validUTF8(q.Host), Prefix: validUTF8(q.Prefix), Pool: validUTF8(q.Pool), Priority: int64(q.Priority),
 			Attempts: int64(q.MaxAttempts), TargetMs: int64(q.Target), StretchPermille: int64(q.StretchPermille), Advice: adviceToWire(q.Advice),
 		})
 	}
 	for _, p := range c.Pools {
-		w.Pools = append(w.Pools, &wirepb.JobPool{Name: text(p.Name), Standby: p.Standby, Guarded: p.AdmissionControl})
+		w.Pools = append(w.Pools, &wirepb.JobPool{Name: validUTF8(p.Name), Standby: p.Standby, Guarded: p.AdmissionControl})
 	}
 	return w
 }
 
-// adviceToWire leaves the rule of a queue without advice out.
+// adviceToWire converts the advice policy of a queue to its message. It returns
+// nil for a queue without advice.
 func adviceToWire(a jobs.AdvicePolicy) *wirepb.JobAdvice {
 	if a == (jobs.AdvicePolicy{}) {
 		return nil
@@ -54,9 +55,9 @@
 
 func waveToWire(w *jobs.Wave) *wirepb.JobWave {
 	return &wirepb.JobWave{
-		Number: int64(w.Number), Machines: list(w.Machines, text), Cap: int64(w.MaxDown),
+		Number: int64(w.Number), Machines: mapAll(w.Machines, validUTF8), Cap: int64(w.MaxDown),
 		DeclaredMs: int64(w.DeclaredAt), DeadlineMs: int64(w.Deadline),
-		Ordered: list(slices.Sorted(maps.Keys(w.Ordered)), text), Begun: list(slices.Sorted(maps.Keys(w.Started)), text),
+		Ordered: mapAll(slices.Sorted(maps.Keys(w.Ordered)), validUTF8), Begun: mapAll(slices.Sorted(maps.Keys(w.Started)), validUTF8),
 	}
 }
 
@@ -77,10 +78,11 @@
 	return v
 }
 
-// JobsToWire maps the submitted work, in the order of names.
+// JobsToWire converts the replicated job state to its message. Jobs are sorted
+// by id and waves by number, so that equal states give equal messages.
 func JobsToWire(s *jobs.State) *wirepb.JobsSnapshot {
 	w := &wirepb.JobsSnapshot{
-		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: list(s.EndedJobs, text),
+		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: mapAll(s.EndedJobs, validUTF8),
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		w.Records = append(w.Records, recordToWire(s.Jobs[id]))
@@ -91,30 +93,35 @@
 	return w
 }
 
+// recordToWire converts the record of a job to its message. Only tasks whose
+// state differs from the initial one are sent; At is the position of such a task
+// among all tasks of its occurrence.
 func recordToWire(r *jobs.Record) *wirepb.JobRecord {
 	w := &wirepb.JobRecord{
 		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.EverAssigned, EndedMs: int64(r.EndedAt),
 	}
 	for _, o := range r.Occurrences {
-		wo := &wirepb.JobOccurrence{}
-		at := int64(0)
+		occurrence := &wirepb.JobOccurrence{}
+		position := int64(0)
 		for _, st := range o.Steps {
 			for _, t := range st.Tasks {
 				if t != (jobs.TaskState{}) {
-					wo.Tasks = append(wo.Tasks, &wirepb.JobTaskState{
-						At: at, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Failures),
-						Worker: text(t.Worker), Life: int64(t.Incarnation), Saved: []byte(t.Checkpoint),
+					occurrence.Tasks = append(occurrence.Tasks, &wirepb.JobTaskState{
+						At: position, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Failures),
+						Worker: validUTF8(t.Worker), Life: int64(t.Incarnation), Saved: []byte(t.Checkpoint),
 					})
 				}
-				at++
+				position++
 			}
 		}
-		w.Occurrences = append(w.Occurrences, wo)
+		w.Occurrences = append(w.Occurrences, occurrence)
 	}
 	return w
 }
 
-// JobsFromWire maps the submitted work; nothing stands for none.
+// JobsFromWire converts a message to the replicated job state. A nil message
+// gives an empty state. It returns an error if a job, its status or one of its
+// tasks is not valid.
 func JobsFromWire(w *wirepb.JobsSnapshot) (*jobs.State, error) {
 	s := jobs.New()
 	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
@@ -135,6 +142,8 @@
 	return s, nil
 }
 
+// recordFromWire converts a message to the record of a job. Tasks that are not in
+// the message keep their initial state.
 func recordFromWire(w *wirepb.JobRecord) (*jobs.Record, error) {
 	j, err := JobFromWire(w.GetJob())
 	if err != nil {
@@ -146,11 +155,11 @@
 	r := jobs.NewRecord(j, w.GetSeq())
 	r.Status, r.EverAssigned, r.EndedAt = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
 	if len(w.GetOccurrences()) != len(r.Occurrences) {
-		return nil, jobError(KindRange, "job %s has %d occurrences in place of %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
+		return nil, jobError(KindRange, "job %s has the records of %d occurrences; its definition has %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
 	}
-	for k, wo := range w.GetOccurrences() {
-		for _, wt := range wo.GetTasks() {
-			if err := restoreTask(r, k, wt); err != nil {
+	for i, occurrence := range w.GetOccurrences() {
+		for _, task := range occurrence.GetTasks() {
+			if err := restoreTask(r, i, task); err != nil {
 				return nil, err
 			}
 		}
@@ -159,21 +168,23 @@
 	return r, nil
 }
 
-func restoreTask(r *jobs.Record, k int, w *wirepb.JobTaskState) error {
+// restoreTask sets the state of one task in the given occurrence of the record. The
+// position in the message counts the tasks over all steps of the occurrence.
+func restoreTask(r *jobs.Record, occurrence int, w *wirepb.JobTaskState) error {
 	if w.GetPhase() < 0 || w.GetPhase() > int32(jobs.PhaseDone) {
-		return jobError(KindRange, "a task of job %s is in phase %d", r.ID, w.GetPhase())
+		return jobError(KindRange, "a task of job %s has the undefined phase %d", r.ID, w.GetPhase())
 	}
-	at := int(w.GetAt())
-	for i := range r.Occurrences[k].Steps {
-		tasks := r.Occurrences[k].Steps[i].Tasks
-		if at >= 0 && at < len(tasks) {
-			tasks[at] = jobs.TaskState{
+	position := int(w.GetAt())
+	for i := range r.Occurrences[occurrence].Steps {
+		tasks := r.Occurrences[occurrence].Steps[i].Tasks
+		if position >= 0 && position < len(tasks) {
+			tasks[position] = jobs.TaskState{
 				Phase: jobs.Phase(w.GetPhase()), Run: int(w.GetRun()), Failures: int(w.GetFails()),
 				Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Checkpoint: string(w.GetSaved()),
 			}
 			return nil
 		}
-		at -= len(tasks)
+		position -= len(tasks)
 	}
-	return jobError(KindRange, "job %s has no task %d", r.ID, w.GetAt())
+	return jobError(KindRange, "job %s has no task at position %d", r.ID, w.GetAt())
 }
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -9,98 +9,104 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Bounds of what is accepted about loans.
+// Largest values that are accepted in messages about loans.
 const (
 	maxLoanSlots = 1 << 16
 	maxLoanTime  = clock.Hour
 )
 
-// LoanRequestToWire maps an ask for loans.
+// LoanRequestToWire converts a request for loans of upstream slots to its
+// message.
 func LoanRequestToWire(a lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
-		Borrower: text(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: text(a.Pool),
-		Slots: int64(a.Slots), Renew: list(a.Renew, idToWire), HoldMs: int64(a.MaxRequestTime),
+		Borrower: validUTF8(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: validUTF8(a.Pool),
+		Slots: int64(a.Slots), Renew: mapAll(a.Renew, idToWire), HoldMs: int64(a.MaxRequestTime),
 	}
 }
 
-// LoanRequestFromWire maps an ask for loans; borrower and pool are required.
+// LoanRequestFromWire converts a message to a request for loans. It returns an
+// error if the borrower or the pool is empty, or if the slots or the maximum
+// request time are out of range.
 func LoanRequestFromWire(w *wirepb.LendRequest) (lend.LoanRequest, error) {
-	const op = "ask for loans"
-	err := firstOf(
+	const op = "loan request"
+	err := firstError(
 		required(op, "borrower", w.GetBorrower(), "pool", w.GetPool()),
-		between(op, "slots", w.GetSlots(), 0, maxLoanSlots),
-		between(op, "hold", w.GetHoldMs(), 0, int64(maxLoanTime)),
+		checkRange(op, "slots", w.GetSlots(), 0, maxLoanSlots),
+		checkRange(op, "hold", w.GetHoldMs(), 0, int64(maxLoanTime)),
 	)
 	if err != nil {
 		return lend.LoanRequest{}, err
 	}
 	return lend.LoanRequest{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(), Number: w.GetNumber(),
-		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: list(w.GetRenew(), idFromWire),
+		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: mapAll(w.GetRenew(), idFromWire),
 		MaxRequestTime: clock.Millis(w.GetHoldMs()),
 	}, nil
 }
 
-// LoanResponseToWire maps the answer to an ask.
+// LoanResponseToWire converts the response to a loan request to its message.
 func LoanResponseToWire(a lend.LoanResponse) *wirepb.LendResponse {
 	return &wirepb.LendResponse{
 		Incarnation: a.Incarnation, LeaseMs: int64(a.Lease),
-		Loans: list(a.Loans, loanToWire), Renewed: list(a.Renewed, idToWire),
+		Loans: mapAll(a.Loans, loanToWire), Renewed: mapAll(a.Renewed, idToWire),
 	}
 }
 
-// LoanResponseFromWire maps the answer to an ask; it is refused whole when one of its
-// loans is malformed.
+// LoanResponseFromWire converts a message to the response to a loan request. It
+// returns an error if the lease is out of range or any of the loans is not
+// valid.
 func LoanResponseFromWire(w *wirepb.LendResponse) (lend.LoanResponse, error) {
-	if err := between("answer about loans", "lease", w.GetLeaseMs(), 0, int64(maxLoanTime)); err != nil {
+	if err := checkRange("loan response", "lease", w.GetLeaseMs(), 0, int64(maxLoanTime)); err != nil {
 		return lend.LoanResponse{}, err
 	}
-	loans, err := listFrom(w.GetLoans(), loanFromWire)
+	loans, err := tryMapAll(w.GetLoans(), loanFromWire)
 	return lend.LoanResponse{
 		Incarnation: w.GetIncarnation(), Lease: clock.Millis(w.GetLeaseMs()),
-		Loans: loans, Renewed: list(w.GetRenewed(), idFromWire),
+		Loans: loans, Renewed: mapAll(w.GetRenewed(), idFromWire),
 	}, err
 }
 
-// ReturnToWire maps a return of loans.
+// ReturnToWire converts the return of loans to its message.
 func ReturnToWire(r lend.Return) *wirepb.ReturnRequest {
 	return &wirepb.ReturnRequest{
-		Borrower: text(r.Borrower), Incarnation: r.Incarnation, Ids: list(r.IDs, idToWire),
+		Borrower: validUTF8(r.Borrower), Incarnation: r.Incarnation, Ids: mapAll(r.IDs, idToWire),
 	}
 }
 
-// ReturnFromWire maps a return of loans.
+// ReturnFromWire converts a message to the return of loans.
 func ReturnFromWire(w *wirepb.ReturnRequest) lend.Return {
 	return lend.Return{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(),
-		IDs: list(w.GetIds(), idFromWire),
+		IDs: mapAll(w.GetIds(), idFromWire),
 	}
 }
 
-// RecallToWire maps a recall.
+// RecallToWire converts a lender's recall of its loans to its message.
 func RecallToWire(r lend.Recall) *wirepb.RecallRequest {
-	return &wirepb.RecallRequest{Lender: text(r.Lender), Incarnation: r.Incarnation}
+	return &wirepb.RecallRequest{Lender: validUTF8(r.Lender), Incarnation: r.Incarnation}
 }
 
-// RecallFromWire maps a recall.
+// RecallFromWire converts a message to a lender's recall of its loans.
 func RecallFromWire(w *wirepb.RecallRequest) lend.Recall {
 	return lend.Recall{Lender: model.Process(w.GetLender()), Incarnation: w.GetIncarnation()}
 }
 
 func loanToWire(l lend.Loan) *wirepb.Loan {
 	return &wirepb.Loan{
-		Id: uint64(l.ID), Instance: text(l.Instance), Pool: text(l.Pool), Address: text(l.Address),
-		Incarnation: l.Incarnation, HealthPath: text(l.HealthPath),
+		Id: uint64(l.ID), Instance: validUTF8(l.Instance), Pool: validUTF8(l.Pool), Address: validUTF8(l.Address),
+		Incarnation: l.Incarnation, HealthPath: validUTF8(l.HealthPath),
 		Slots: int64(l.Slots), Connections: int64(l.Connections),
 	}
 }
 
+// loanFromWire converts a message to a loan. A loan has at least one slot, and at
+// least as many connections as slots.
 func loanFromWire(w *wirepb.Loan) (lend.Loan, error) {
 	const op = "loan"
-	err := firstOf(
+	err := firstError(
 		required(op, "instance", w.GetInstance(), "pool", w.GetPool(), "address", w.GetAddress()),
-		between(op, "slots", w.GetSlots(), 1, maxLoanSlots),
-		between(op, "connections", w.GetConnections(), w.GetSlots(), maxLoanSlots),
+		checkRange(op, "slots", w.GetSlots(), 1, maxLoanSlots),
+		checkRange(op, "connections", w.GetConnections(), w.GetSlots(), maxLoanSlots),
 	)
 	if err != nil {
 		return lend.Loan{}, err
@@ -115,14 +121,16 @@
 func idToWire(id lend.ID) uint64   { return uint64(id) }
 func idFromWire(id uint64) lend.ID { return lend.ID(id) }
 
-func between(op, field string, n, lo, hi int64) error {
+// checkRange returns an error if n is below lo or above hi.
+func checkRange(op, field string, n, lo, hi int64) error {
 	if n < lo || n > hi {
-		return &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("%s is %d, not %d to %d", field, n, lo, hi)}
+		return &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("%s is %d; allowed: %d to %d", field, n, lo, hi)}
 	}
 	return nil
 }
 
-func firstOf(errs ...error) error {
+// firstError returns the first error that is not nil.
+func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
 			return err
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -9,8 +9,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// TestLoanRoundTrip fails when a field of a message about loans is not carried
-// over the wire, or when a loan without a slot or a connection is accepted.
+// TestLoanRoundTrip checks that no field of the messages about loans is lost, and
+// that loans without a slot or with fewer connections than slots are rejected, as
+// are requests for a negative number of slots.
 func TestLoanRoundTrip(t *testing.T) {
 	a := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, MaxRequestTime: 7}
 	a2, err := LoanRequestFromWire(LoanRequestToWire(a))
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -6,13 +6,13 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// ContractToWire maps a contract.
+// ContractToWire converts a customer's contract to its message.
 func ContractToWire(c model.Contract) *wirepb.Contract {
 	return &wirepb.Contract{
-		Customer:       text(c.Customer),
+		Customer:       validUTF8(c.Customer),
 		Version:        uint64(c.Version),
 		Covers:         int32(c.Covers),
-		Pools:          list(c.Pools, poolShareToWire),
+		Pools:          mapAll(c.Pools, poolShareToWire),
 		Concurrency:    int64(c.Concurrency),
 		Queue:          int64(c.Queue),
 		RetryPercent:   int64(c.RetryPercent),
@@ -20,25 +20,26 @@
 		BudgetMs:       int64(c.BudgetMillis),
 		WindowMs:       int64(c.WindowMillis),
 		Spare:          int64(c.Spare),
-		SparePool:      text(c.SparePool),
+		SparePool:      validUTF8(c.SparePool),
 		MilliCores:     int64(c.Quota.MilliCores),
 		MemoryMib:      int64(c.Quota.MemoryMiB),
 		Accelerators:   int64(c.Quota.Accelerators),
 	}
 }
 
-// ContractFromWire maps a contract; the customer and the names of its pools
-// are required.
+// ContractFromWire converts a message to a contract. It returns an error if the
+// customer or the name of a pool is empty, or if the covered failure domain is
+// not defined.
 func ContractFromWire(w *wirepb.Contract) (model.Contract, error) {
 	const op = "contract"
 	if err := required(op, "customer", w.GetCustomer()); err != nil {
 		return model.Contract{}, err
 	}
-	covers, err := enum(op, "covers", w.GetCovers(), model.DomainZone)
+	covers, err := enumFromWire(op, "covers", w.GetCovers(), model.DomainZone)
 	if err != nil {
 		return model.Contract{}, err
 	}
-	pools, err := listFrom(w.GetPools(), poolShareFromWire)
+	pools, err := tryMapAll(w.GetPools(), poolShareFromWire)
 	if err != nil {
 		return model.Contract{}, err
 	}
@@ -64,7 +65,7 @@
 }
 
 func poolShareToWire(p model.PoolShare) *wirepb.PoolShare {
-	return &wirepb.PoolShare{Pool: text(p.Pool), Instances: int64(p.Instances)}
+	return &wirepb.PoolShare{Pool: validUTF8(p.Pool), Instances: int64(p.Instances)}
 }
 
 func poolShareFromWire(w *wirepb.PoolShare) (model.PoolShare, error) {
@@ -74,18 +75,18 @@
 	return model.PoolShare{Pool: model.Pool(w.GetPool()), Instances: int(w.GetInstances())}, nil
 }
 
-// InstanceToWire maps an instance.
+// InstanceToWire converts an instance to its message.
 func InstanceToWire(i model.Instance) *wirepb.Instance {
 	return &wirepb.Instance{
-		Id:           text(i.ID),
-		Zone:         text(i.Zone),
-		Rack:         text(i.Rack),
-		Pool:         text(i.Pool),
-		Target:       text(i.Target),
+		Id:           validUTF8(i.ID),
+		Zone:         validUTF8(i.Zone),
+		Rack:         validUTF8(i.Rack),
+		Pool:         validUTF8(i.Pool),
+		Target:       validUTF8(i.Target),
 		Phase:        int32(i.Phase),
 		Slots:        int64(i.Slots),
 		Connections:  int64(i.Connections),
-		Reason:       text(i.Reason),
+		Reason:       validUTF8(i.Reason),
 		MaintainedMs: int64(i.MaintainedAt),
 		Incarnation:  i.Incarnation,
 		LostMs:       int64(i.LostSince),
@@ -95,13 +96,14 @@
 	}
 }
 
-// InstanceFromWire maps an instance; its name, zone and pool are required.
+// InstanceFromWire converts a message to an instance. It returns an error if the
+// id, the zone or the pool is empty, or if the phase is not defined.
 func InstanceFromWire(w *wirepb.Instance) (model.Instance, error) {
 	const op = "instance"
 	if err := required(op, "id", w.GetId(), "zone", w.GetZone(), "pool", w.GetPool()); err != nil {
 		return model.Instance{}, err
 	}
-	phase, err := enum(op, "phase", w.GetPhase(), model.PhaseRetired)
+	phase, err := enumFromWire(op, "phase", w.GetPhase(), model.PhaseRetired)
 	if err != nil {
 		return model.Instance{}, err
 	}
@@ -124,17 +126,18 @@
 	}, nil
 }
 
-// SelectorToWire maps a selector.
+// SelectorToWire converts a selector of instances to its message.
 func SelectorToWire(s model.Selector) *wirepb.Selector {
 	return &wirepb.Selector{
-		Pool:     text(s.Pool),
-		Zone:     text(s.Zone),
-		Rack:     text(s.Rack),
-		Instance: text(s.Instance),
+		Pool:     validUTF8(s.Pool),
+		Zone:     validUTF8(s.Zone),
+		Rack:     validUTF8(s.Rack),
+		Instance: validUTF8(s.Instance),
 	}
 }
 
-// SelectorFromWire maps a selector; every field may be empty.
+// SelectorFromWire converts a message to a selector of instances. Every field may
+// be empty.
 func SelectorFromWire(w *wirepb.Selector) model.Selector {
 	return model.Selector{
 		Pool:     model.Pool(w.GetPool()),
@@ -144,10 +147,10 @@
 	}
 }
 
-// MaintenanceToWire maps a declaration.
+// MaintenanceToWire converts a declared maintenance to its message.
 func MaintenanceToWire(m model.Maintenance) *wirepb.Maintenance {
 	return &wirepb.Maintenance{
-		Name:       text(m.Name),
+		Name:       validUTF8(m.Name),
 		Selector:   SelectorToWire(m.Selector),
 		DeclaredMs: int64(m.DeclaredAt),
 		DeadlineMs: int64(m.Deadline),
@@ -155,7 +158,8 @@
 	}
 }
 
-// MaintenanceFromWire maps a declaration; its name is required.
+// MaintenanceFromWire converts a message to a declared maintenance. It returns an
+// error if the name is empty.
 func MaintenanceFromWire(w *wirepb.Maintenance) (model.Maintenance, error) {
 	if err := required("maintenance", "name", w.GetName()); err != nil {
 		return model.Maintenance{}, err
--- a/io/proto/codec/slope_test.go
+++ b/io/proto/codec/size_test.go
@@ -11,7 +11,9 @@
 	"camphorridge/core/state/model"
 )
 
-func fleetOf(n int) *fleet.State {
+// fleetWithInstances returns a state with n instances, spread over 20 zones and
+// 37 pools.
+func fleetWithInstances(n int) *fleet.State {
 	s := fleet.New()
 	for i := range n {
 		c := model.Change{Kind: model.ChangeInstances, Author: "c1", Instances: []model.InstanceStep{{Instance: model.Instance{
@@ -24,22 +26,24 @@
 	return s
 }
 
-func heap() uint64 {
+// heapBytes returns the size of the live heap in bytes.
+func heapBytes() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
 
-// BenchmarkStateSize reports what an instance costs in memory, in a snapshot
-// and in a table, and what one change of an instance costs on the wire.
+// BenchmarkStateSize reports the bytes per instance in memory, in a snapshot and
+// in a full table, and the bytes of the delta that one change of an instance
+// sends.
 func BenchmarkStateSize(b *testing.B) {
 	for _, n := range []int{500, 5100} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
-				s := fleetOf(n)
-				b.ReportMetric(float64(heap()-before)/float64(n), "heap-B/instance")
+				before := heapBytes()
+				s := fleetWithInstances(n)
+				b.ReportMetric(float64(heapBytes()-before)/float64(n), "heap-B/instance")
 				b.ReportMetric(float64(len(Codec{}.EncodeState(s)))/float64(n), "snapshot-B/instance")
 				b.ReportMetric(float64(proto.Size(DeltaToWire(s.Delta(0))))/float64(n), "table-B/instance")
 				b.ReportMetric(float64(proto.Size(DeltaToWire(s.Delta(s.Version-1)))), "delta-B/change")
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -12,35 +12,35 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// StateToWire maps the replicated state. Maps are written in the order of
-// their keys, and results and claims in the order in which they will be
-// forgotten, so that equal states give equal messages.
+// StateToWire converts the replicated state to its message. Maps are written in
+// the order of their keys, and results and claims in the order in which they
+// expire, so that equal states give equal messages.
 func StateToWire(s *fleet.State) *wirepb.FleetSnapshot {
 	w := &wirepb.FleetSnapshot{
 		Index:       uint64(s.Index),
 		Version:     uint64(s.Version),
 		TimeMs:      int64(s.Time),
-		Contracts:   list(sorted(s.Contracts), ContractToWire),
-		Instances:   list(sorted(s.Instances), InstanceToWire),
-		Maintenance: list(sorted(s.Maintenance), MaintenanceToWire),
-		Touches:     list(s.TableChanges, touchToWire),
-		Outages:     list(s.Outages, OutageToWire),
+		Contracts:   mapAll(valuesByKey(s.Contracts), ContractToWire),
+		Instances:   mapAll(valuesByKey(s.Instances), InstanceToWire),
+		Maintenance: mapAll(valuesByKey(s.Maintenance), MaintenanceToWire),
+		Touches:     mapAll(s.TableChanges, tableChangeToWire),
+		Outages:     mapAll(s.Outages, OutageToWire),
 		Jobs:        JobsToWire(s.Jobs),
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.Incarnations)) {
-		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: text(p), Incarnation: s.Incarnations[p]})
+		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: validUTF8(p), Incarnation: s.Incarnations[p]})
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.GoneProcesses)) {
-		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: text(p), TimeMs: int64(s.GoneProcesses[p])})
+		w.Gone = append(w.Gone, &wirepb.GoneProcess{Process: validUTF8(p), TimeMs: int64(s.GoneProcesses[p])})
 	}
 	s.Results.Each(func(k model.RequestID, r model.Result, t clock.Millis) {
-		w.Results = append(w.Results, &wirepb.RememberedResult{Request: text(k), Result: ResultToWire(r), TimeMs: int64(t)})
+		w.Results = append(w.Results, &wirepb.RememberedResult{Request: validUTF8(k), Result: ResultToWire(r), TimeMs: int64(t)})
 	})
 	s.Claims.Each(func(k model.ClaimKey, c fleet.HeldClaim, t clock.Millis) {
 		w.Claims = append(w.Claims, &wirepb.RememberedClaim{
 			Key:    ClaimKeyToWire(k),
-			Token:  text(c.Token),
-			Owner:  text(c.Owner),
+			Token:  validUTF8(c.Token),
+			Owner:  validUTF8(c.Owner),
 			Run:    c.Incarnation,
 			State:  int32(c.State),
 			Status: int64(c.Status),
@@ -49,24 +49,24 @@
 	})
 	for _, object := range slices.Sorted(maps.Keys(s.Authors)) {
 		a := s.Authors[object]
-		w.Authors = append(w.Authors, &wirepb.Tombstone{Name: text(object), Version: uint64(a.Version), Author: text(a.Name)})
+		w.Authors = append(w.Authors, &wirepb.Tombstone{Name: validUTF8(object), Version: uint64(a.Version), Author: validUTF8(a.Name)})
 	}
 	return w
 }
 
-// OutageToWire maps an outage.
+// OutageToWire converts the outage of an instance to its message.
 func OutageToWire(o model.Outage) *wirepb.Outage {
-	return &wirepb.Outage{Instance: text(o.Instance), Pool: text(o.Pool), FromMs: int64(o.From), ToMs: int64(o.To)}
+	return &wirepb.Outage{Instance: validUTF8(o.Instance), Pool: validUTF8(o.Pool), FromMs: int64(o.From), ToMs: int64(o.To)}
 }
 
-// OutageFromWire maps an outage; its instance is required, and it must not end
-// before its start.
+// OutageFromWire converts a message to the outage of an instance. It returns an
+// error if the instance is empty or the outage ends before it starts.
 func OutageFromWire(w *wirepb.Outage) (model.Outage, error) {
 	if err := required("outage", "instance", w.GetInstance()); err != nil {
 		return model.Outage{}, err
 	}
 	if w.GetToMs() < w.GetFromMs() {
-		return model.Outage{}, stateError(KindRange, "an outage from %d to %d ms", w.GetFromMs(), w.GetToMs())
+		return model.Outage{}, stateError(KindRange, "an outage ends before it starts: from %d to %d ms", w.GetFromMs(), w.GetToMs())
 	}
 	return model.Outage{
 		Instance: model.InstanceID(w.GetInstance()), Pool: model.Pool(w.GetPool()),
@@ -74,29 +74,30 @@
 	}, nil
 }
 
-// StateFromWire maps the replicated state. Its parts must be in the order in
-// which StateToWire writes them where that order has a meaning.
+// StateFromWire converts a message to the replicated state. It returns an error
+// if an element is not valid, if results or claims are not in the order of their
+// times, or if the table changes are not in the order of their versions.
 func StateFromWire(w *wirepb.FleetSnapshot) (*fleet.State, error) {
 	s := fleet.New()
 	s.Index = model.Version(w.GetIndex())
 	s.Version = model.Version(w.GetVersion())
 	s.Time = clock.Millis(w.GetTimeMs())
 	if s.Version > s.Index {
-		return nil, stateError(KindRange, "the table's version %d is above the index %d", s.Version, s.Index)
+		return nil, stateError(KindRange, "table version %d is above the log index %d", s.Version, s.Index)
 	}
-	if err := objectsFromWire(s, w); err != nil {
+	if err := restoreObjects(s, w); err != nil {
 		return nil, err
 	}
-	if err := resultsFromWire(s, w); err != nil {
+	if err := restoreResults(s, w); err != nil {
 		return nil, err
 	}
-	if err := claimsFromWire(s, w); err != nil {
+	if err := restoreClaims(s, w); err != nil {
 		return nil, err
 	}
 	var last uint64
 	for _, t := range w.GetTouches() {
 		if t.GetVersion() < last || t.GetVersion() > w.GetVersion() {
-			return nil, stateError(KindRange, "touch %d after %d at version %d", t.GetVersion(), last, s.Version)
+			return nil, stateError(KindRange, "table change of version %d follows version %d; the table has version %d", t.GetVersion(), last, s.Version)
 		}
 		last = t.GetVersion()
 		s.TableChanges = append(s.TableChanges, fleet.TableChange{
@@ -105,26 +106,26 @@
 			Instance: model.InstanceID(t.GetInstance()),
 		})
 	}
-	outages, err := listFrom(w.GetOutages(), OutageFromWire)
+	outages, err := tryMapAll(w.GetOutages(), OutageFromWire)
 	if err != nil {
 		return nil, err
 	}
 	s.Outages = outages
 	for _, r := range w.GetRuns() {
 		if r.GetProcess() == "" {
-			return nil, stateError(KindMissing, "a run has no process")
+			return nil, stateError(KindMissing, "an incarnation has no process name")
 		}
 		s.Incarnations[model.Process(r.GetProcess())] = r.GetIncarnation()
 	}
 	for _, g := range w.GetGone() {
 		if g.GetProcess() == "" {
-			return nil, stateError(KindMissing, "a process that is gone has no name")
+			return nil, stateError(KindMissing, "a process declared gone has no name")
 		}
 		s.GoneProcesses[model.Process(g.GetProcess())] = clock.Millis(g.GetTimeMs())
 	}
 	for _, a := range w.GetAuthors() {
 		if a.GetName() == "" {
-			return nil, stateError(KindMissing, "an author's object has no name")
+			return nil, stateError(KindMissing, "an object with an author has no name")
 		}
 		s.Authors[a.GetName()] = fleet.Author{Name: a.GetAuthor(), Version: model.Version(a.GetVersion())}
 	}
@@ -132,20 +133,22 @@
 	return s, err
 }
 
+// stateError returns an Error for the replicated state.
 func stateError(kind Kind, format string, args ...any) error {
 	return &Error{Op: "state", Kind: kind, Err: fmt.Errorf(format, args...)}
 }
 
-func objectsFromWire(s *fleet.State, w *wirepb.FleetSnapshot) error {
-	contracts, err := listFrom(w.GetContracts(), ContractFromWire)
+// restoreObjects adds the contracts, instances and declared maintenance to s.
+func restoreObjects(s *fleet.State, w *wirepb.FleetSnapshot) error {
+	contracts, err := tryMapAll(w.GetContracts(), ContractFromWire)
 	if err != nil {
 		return err
 	}
-	instances, err := listFrom(w.GetInstances(), InstanceFromWire)
+	instances, err := tryMapAll(w.GetInstances(), InstanceFromWire)
 	if err != nil {
 		return err
 	}
-	maintenance, err := listFrom(w.GetMaintenance(), MaintenanceFromWire)
+	maintenance, err := tryMapAll(w.GetMaintenance(), MaintenanceFromWire)
 	if err != nil {
 		return err
 	}
@@ -161,9 +164,10 @@
 	return nil
 }
 
-// resultsFromWire puts the results back in the order in which they were
-// remembered, because a memory forgets in the order of its Puts.
-func resultsFromWire(s *fleet.State, w *wirepb.FleetSnapshot) error {
+// restoreResults adds the results to s in the order of the message, oldest
+// first, because the entries of an ExpiringMap expire in the order of the calls
+// of Put.
+func restoreResults(s *fleet.State, w *wirepb.FleetSnapshot) error {
 	var last clock.Millis
 	for n, m := range w.GetResults() {
 		r, err := ResultFromWire(m.GetResult())
@@ -172,10 +176,10 @@
 		}
 		t := clock.Millis(m.GetTimeMs())
 		if m.GetRequest() == "" {
-			return stateError(KindMissing, "a result has no request identity")
+			return stateError(KindMissing, "a result has no request id")
 		}
 		if n > 0 && t < last {
-			return stateError(KindRange, "a result of %d ms follows one of %d ms", t, last)
+			return stateError(KindRange, "a result with time %d ms follows one with time %d ms", t, last)
 		}
 		last = t
 		s.Results.Put(model.RequestID(m.GetRequest()), r, t)
@@ -183,20 +187,22 @@
 	return nil
 }
 
-func claimsFromWire(s *fleet.State, w *wirepb.FleetSnapshot) error {
+// restoreClaims adds the claims to s in the order of the message, for the same
+// reason as restoreResults.
+func restoreClaims(s *fleet.State, w *wirepb.FleetSnapshot) error {
 	var last clock.Millis
 	for n, m := range w.GetClaims() {
 		k, err := ClaimKeyFromWire(m.GetKey())
 		if err != nil {
 			return err
 		}
-		state, err := enum("claim", "state", m.GetState(), model.ClaimUnknown)
+		state, err := enumFromWire("claim", "state", m.GetState(), model.ClaimUnknown)
 		if err != nil {
 			return err
 		}
 		t := clock.Millis(m.GetTimeMs())
 		if n > 0 && t < last {
-			return stateError(KindRange, "a claim of %d ms follows one of %d ms", t, last)
+			return stateError(KindRange, "a claim with time %d ms follows one with time %d ms", t, last)
 		}
 		last = t
 		s.Claims.Put(k, fleet.HeldClaim{
@@ -207,12 +213,12 @@
 	return nil
 }
 
-func touchToWire(t fleet.TableChange) *wirepb.Touch {
-	return &wirepb.Touch{Version: uint64(t.Version), Contract: text(t.Contract), Instance: text(t.Instance)}
+func tableChangeToWire(t fleet.TableChange) *wirepb.Touch {
+	return &wirepb.Touch{Version: uint64(t.Version), Contract: validUTF8(t.Contract), Instance: validUTF8(t.Instance)}
 }
 
-// sorted returns the values of a map in the order of its keys.
-func sorted[K cmp.Ordered, V any](m map[K]V) []V {
+// valuesByKey returns the values of m in ascending order of their keys.
+func valuesByKey[K cmp.Ordered, V any](m map[K]V) []V {
 	out := make([]V, 0, len(m))
 	for _, k := range slices.Sorted(maps.Keys(m)) {
 		out = append(out, m[k])
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -17,21 +17,21 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// remembered lists what a memory holds, oldest first, with the times.
-func remembered[K comparable, V any](m *fleet.ExpiringMap[K, V]) []string {
+// entriesOf returns the keys, values and times of a map, oldest first.
+func entriesOf[K comparable, V any](m *fleet.ExpiringMap[K, V]) []string {
 	var out []string
 	m.Each(func(k K, v V, t clock.Millis) { out = append(out, fmt.Sprintf("%q %+v %d", fmt.Sprint(k), v, t)) })
 	return out
 }
 
-// anyState fills every field of a state.
+// anyState generates a state in which every field is set.
 func anyState(t *rapid.T) *fleet.State {
 	s := fleet.New()
 	s.Index, s.Version, s.Time = 900, 800, 70_000
-	for _, c := range some(t, anyContract) {
+	for _, c := range upToThree(t, anyContract) {
 		s.Contracts[c.Customer] = c
 	}
-	for _, i := range some(t, anyInstance) {
+	for _, i := range upToThree(t, anyInstance) {
 		s.Instances[i.ID] = i
 	}
 	s.Maintenance["m"] = model.Maintenance{
@@ -39,25 +39,25 @@
 	}
 	for n := range rapid.IntRange(0, 5).Draw(t, "remembered") {
 		s.Results.Put(model.RequestID(fmt.Sprint("r", n%3)), anyResult(t), clock.Millis(n))
-		s.Claims.Put(anyKey(t), fleet.HeldClaim{Token: "t", State: model.ClaimDone, Status: 200 + n}, clock.Millis(n))
+		s.Claims.Put(anyClaimKey(t), fleet.HeldClaim{Token: "t", State: model.ClaimDone, Status: 200 + n}, clock.Millis(n))
 	}
 	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
 	s.Authors["contract x"] = fleet.Author{Name: "ana", Version: 7}
 	s.TableChanges = []fleet.TableChange{{Version: 7, Contract: "x"}, {Version: 8, Instance: "i"}}
-	s.Jobs.Apply(some(t, anyOp), 70_000)
+	s.Jobs.Apply(upToThree(t, anyOp), 70_000)
 	return s
 }
 
-// TestStateRoundTrip fails when a part of the state, the order in which it
-// forgets or the time at which it does so is lost in a snapshot.
+// TestStateRoundTrip checks that a snapshot keeps every part of the state, and
+// the order and the times by which results and claims expire.
 func TestStateRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := anyState(t)
 		b := Codec{}.EncodeState(s)
 		got, err := Codec{}.DecodeState(b)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, remembered(got.Results), remembered(s.Results))
-		assert.DeepEqual(t, remembered(got.Claims), remembered(s.Claims))
+		assert.DeepEqual(t, entriesOf(got.Results), entriesOf(s.Results))
+		assert.DeepEqual(t, entriesOf(got.Claims), entriesOf(s.Claims))
 		assert.Assert(t, bytes.Equal(b, Codec{}.EncodeState(got)))
 		assert.DeepEqual(t, got.Jobs, s.Jobs, cmpopts.EquateEmpty())
 		got.Results, got.Claims, got.Jobs = s.Results, s.Claims, s.Jobs
@@ -65,7 +65,7 @@
 	})
 }
 
-// anyEntry generates a log entry with content that fits its kind.
+// anyEntry generates a log entry whose content matches its kind.
 func anyEntry(t *rapid.T) raft.Entry {
 	e := raft.Entry{Index: rapid.Uint64Min(1).Draw(t, "index"), Term: rapid.Uint64().Draw(t, "term")}
 	switch rapid.IntRange(0, 2).Draw(t, "kind") {
@@ -83,8 +83,9 @@
 	return e
 }
 
-// TestGroupRoundTrip fails when a field of the group's messages is not
-// carried over the wire.
+// TestGroupRoundTrip checks that no field of the Raft messages, log entries and
+// durable state is lost, and that messages with gaps between entries or without a
+// sender are rejected.
 func TestGroupRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := anyEntry(t)
@@ -116,10 +117,10 @@
 	assert.ErrorContains(t, err, "from 0 to 0")
 }
 
-// fuzz feeds arbitrary bytes to a decoder. It guards against a panic, an
-// error of another type, and a decoded value that does not survive another
-// round trip.
-func fuzz[V any](f *testing.F, seeds [][]byte, enc func(V) []byte, dec func([]byte) (V, error)) {
+// fuzzDecoder passes arbitrary bytes to a decoder. It fails on a panic, on an
+// error that is not an *Error, and on a decoded value that differs after being
+// encoded and decoded once more.
+func fuzzDecoder[V any](f *testing.F, seeds [][]byte, enc func(V) []byte, dec func([]byte) (V, error)) {
 	for _, s := range seeds {
 		f.Add(s)
 		f.Add(s[:len(s)/2])
@@ -138,9 +139,9 @@
 	})
 }
 
-// examples encodes generated values as seeds; the generator's numbers are
-// fixed, so that a failing seed is the same in each run.
-func examples[V any](gen func(*rapid.T) V, enc func(V) []byte) [][]byte {
+// exampleSeeds returns encoded values of the generator gen as seeds. The numbers
+// passed to Example are fixed, so that a failing seed is the same in each run.
+func exampleSeeds[V any](gen func(*rapid.T) V, enc func(V) []byte) [][]byte {
 	var out [][]byte
 	for n := range 12 {
 		out = append(out, enc(rapid.Custom(gen).Example(n)))
@@ -150,17 +151,17 @@
 
 func FuzzChange(f *testing.F) {
 	c := Codec{}
-	fuzz(f, examples(anyChange, c.EncodeChange), c.EncodeChange, c.DecodeChange)
+	fuzzDecoder(f, exampleSeeds(anyChange, c.EncodeChange), c.EncodeChange, c.DecodeChange)
 }
 
 func FuzzEntry(f *testing.F) {
 	c := Codec{}
-	fuzz(f, examples(anyEntry, c.EncodeEntry), c.EncodeEntry, c.DecodeEntry)
+	fuzzDecoder(f, exampleSeeds(anyEntry, c.EncodeEntry), c.EncodeEntry, c.DecodeEntry)
 }
 
 func FuzzState(f *testing.F) {
 	c := Codec{}
-	fuzz(f, examples(anyState, c.EncodeState), c.EncodeState, c.DecodeState)
+	fuzzDecoder(f, exampleSeeds(anyState, c.EncodeState), c.EncodeState, c.DecodeState)
 }
 
 func FuzzMessage(f *testing.F) {
@@ -168,17 +169,17 @@
 		return raft.Message{Kind: raft.MsgAppend, From: 1, To: 2, Entries: []raft.Entry{anyEntry(t)}}
 	}
 	enc := func(m raft.Message) []byte { return encode(MessageToWire(m)) }
-	fuzz(f, examples(gen, enc), enc, func(b []byte) (raft.Message, error) {
+	fuzzDecoder(f, exampleSeeds(gen, enc), enc, func(b []byte) (raft.Message, error) {
 		return decode("raft message", b, &wirepb.RaftMessage{}, MessageFromWire)
 	})
 }
 
 func FuzzDelta(f *testing.F) {
 	gen := func(t *rapid.T) model.Delta {
-		return model.Delta{To: 5, Contracts: some(t, anyContract), Instances: some(t, anyInstance), RemovedContracts: []model.Customer{"c"}}
+		return model.Delta{To: 5, Contracts: upToThree(t, anyContract), Instances: upToThree(t, anyInstance), RemovedContracts: []model.Customer{"c"}}
 	}
 	enc := func(d model.Delta) []byte { return encode(DeltaToWire(d)) }
-	fuzz(f, examples(gen, enc), enc, func(b []byte) (model.Delta, error) {
+	fuzzDecoder(f, exampleSeeds(gen, enc), enc, func(b []byte) (model.Delta, error) {
 		return decode("delta", b, &wirepb.Delta{}, DeltaFromWire)
 	})
 }
@@ -186,14 +187,14 @@
 func FuzzAnnouncement(f *testing.F) {
 	enc := func(a model.Announcement) []byte { return encode(AnnouncementToWire(a)) }
 	seed := enc(model.Announcement{Instance: "i", Zone: "z", Pool: "p", Address: "127.0.0.1:1", Incarnation: 3})
-	fuzz(f, [][]byte{seed}, enc, func(b []byte) (model.Announcement, error) {
+	fuzzDecoder(f, [][]byte{seed}, enc, func(b []byte) (model.Announcement, error) {
 		return decode("announcement", b, &wirepb.Announcement{}, AnnouncementFromWire)
 	})
 }
 
 func FuzzResult(f *testing.F) {
 	enc := func(r model.Result) []byte { return encode(ResultToWire(r)) }
-	fuzz(f, examples(anyResult, enc), enc, func(b []byte) (model.Result, error) {
+	fuzzDecoder(f, exampleSeeds(anyResult, enc), enc, func(b []byte) (model.Result, error) {
 		return decode("result", b, &wirepb.Result{}, ResultFromWire)
 	})
 }
--- a/io/proto/codec/table.go
+++ b/io/proto/codec/table.go
@@ -8,41 +8,43 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// StampToWire maps a stamp.
+// StampToWire converts a hybrid clock stamp to its message.
 func StampToWire(s model.Stamp) *wirepb.Stamp {
 	return &wirepb.Stamp{WallMs: int64(s.Wall), Count: s.Count}
 }
 
-// StampFromWire maps a stamp; a missing one is the zero stamp.
+// StampFromWire converts a message to a hybrid clock stamp. A nil message gives
+// the zero stamp.
 func StampFromWire(w *wirepb.Stamp) model.Stamp {
 	return model.Stamp{Wall: clock.Millis(w.GetWallMs()), Count: w.GetCount()}
 }
 
-// AnnouncementToWire maps an announcement.
+// AnnouncementToWire converts the announcement of an upstream to its message.
 func AnnouncementToWire(a model.Announcement) *wirepb.Announcement {
 	return &wirepb.Announcement{
-		Instance:    text(a.Instance),
-		Zone:        text(a.Zone),
-		Rack:        text(a.Rack),
-		Pool:        text(a.Pool),
-		Address:     text(a.Address),
+		Instance:    validUTF8(a.Instance),
+		Zone:        validUTF8(a.Zone),
+		Rack:        validUTF8(a.Rack),
+		Pool:        validUTF8(a.Pool),
+		Address:     validUTF8(a.Address),
 		Slots:       int64(a.Slots),
 		Connections: int64(a.Connections),
 		Incarnation: a.Incarnation,
 		State:       int32(a.State),
-		HealthPath:  text(a.HealthPath),
+		HealthPath:  validUTF8(a.HealthPath),
 	}
 }
 
-// AnnouncementFromWire maps an announcement; the instance, its zone, its pool
-// and its address are required.
+// AnnouncementFromWire converts a message to the announcement of an upstream. It
+// returns an error if the instance, the zone, the pool or the address is empty,
+// or if the state is not defined.
 func AnnouncementFromWire(w *wirepb.Announcement) (model.Announcement, error) {
 	const op = "announcement"
 	err := required(op, "instance", w.GetInstance(), "zone", w.GetZone(), "pool", w.GetPool(), "address", w.GetAddress())
 	if err != nil {
 		return model.Announcement{}, err
 	}
-	state, err := enum(op, "state", w.GetState(), model.AnnounceLeaving)
+	state, err := enumFromWire(op, "state", w.GetState(), model.AnnounceLeaving)
 	if err != nil {
 		return model.Announcement{}, err
 	}
@@ -60,42 +62,47 @@
 	}, nil
 }
 
-// DeltaToWire maps a delta.
+// DeltaToWire converts the difference between two versions of the table to its
+// message.
 func DeltaToWire(d model.Delta) *wirepb.Delta {
 	return &wirepb.Delta{
 		From:             uint64(d.From),
 		To:               uint64(d.To),
 		Full:             d.Full,
-		Contracts:        list(d.Contracts, ContractToWire),
-		Instances:        list(d.Instances, InstanceToWire),
-		RemovedContracts: list(d.RemovedContracts, text[model.Customer]),
-		RemovedInstances: list(d.RemovedInstances, text[model.InstanceID]),
+		Contracts:        mapAll(d.Contracts, ContractToWire),
+		Instances:        mapAll(d.Instances, InstanceToWire),
+		RemovedContracts: mapAll(d.RemovedContracts, validUTF8[model.Customer]),
+		RemovedInstances: mapAll(d.RemovedInstances, validUTF8[model.InstanceID]),
 	}
 }
 
-// DeltaFromWire maps a delta; a delta must not end below its start.
+// DeltaFromWire converts a message to the difference between two versions of the
+// table. It returns an error if the delta ends at a lower version than it starts
+// from, or if an element is not valid.
 func DeltaFromWire(w *wirepb.Delta) (model.Delta, error) {
 	const op = "delta"
 	if w.GetTo() < w.GetFrom() {
-		return model.Delta{}, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("it goes from version %d down to %d", w.GetFrom(), w.GetTo())}
+		return model.Delta{}, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("version decreases from %d to %d", w.GetFrom(), w.GetTo())}
 	}
 	d := model.Delta{From: model.Version(w.GetFrom()), To: model.Version(w.GetTo()), Full: w.GetFull()}
 	var err error
-	if d.Contracts, err = listFrom(w.GetContracts(), ContractFromWire); err != nil {
+	if d.Contracts, err = tryMapAll(w.GetContracts(), ContractFromWire); err != nil {
 		return model.Delta{}, err
 	}
-	if d.Instances, err = listFrom(w.GetInstances(), InstanceFromWire); err != nil {
+	if d.Instances, err = tryMapAll(w.GetInstances(), InstanceFromWire); err != nil {
 		return model.Delta{}, err
 	}
-	if d.RemovedContracts, err = listFrom(w.GetRemovedContracts(), nameFromWire[model.Customer]); err != nil {
+	if d.RemovedContracts, err = tryMapAll(w.GetRemovedContracts(), removedNameFromWire[model.Customer]); err != nil {
 		return model.Delta{}, err
 	}
-	if d.RemovedInstances, err = listFrom(w.GetRemovedInstances(), nameFromWire[model.InstanceID]); err != nil {
+	if d.RemovedInstances, err = tryMapAll(w.GetRemovedInstances(), removedNameFromWire[model.InstanceID]); err != nil {
 		return model.Delta{}, err
 	}
 	return d, nil
 }
 
-func nameFromWire[S ~string](s string) (S, error) {
+// removedNameFromWire converts the name of a removed object. It returns an error
+// if the name is empty.
+func removedNameFromWire[S ~string](s string) (S, error) {
 	return S(s), required("delta", "removed name", s)
 }
