--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -5,17 +5,18 @@
 	"camphorridge/core/state/model"
 )
 
-// Listen holds the addresses that a process listens on, as ip:port. Port 0
-// picks a free port.
+// Listen holds the addresses that a process listens on, as ip:port. With port 0
+// the system picks a free port.
 type Listen struct {
-	// Callers and Upstreams are empty for a control process.
+	// Callers receives the requests of callers and Upstreams the announcements of
+	// upstreams. Both are empty for a control process.
 	Callers   string
 	Upstreams string
 	Peers     string
 	Admin     string
 }
 
-// Limits holds the bounds that apply to a process whatever the contracts say.
+// Limits holds the limits of an entry process that do not depend on contracts.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
@@ -27,48 +28,58 @@
 	LeaseMillis          clock.Millis
 	QueueRingSize        int
 	RetryPercent         int
-	// DrainMillis bounds a graceful stop. In an entry process it is at least
+	// DrainMillis is the longest time that a graceful stop takes. It is at least
 	// MaxTimeoutMillis, so that a stop interrupts no request.
 	DrainMillis clock.Millis
 }
 
-// Lending holds how slots are lent between entry processes.
+// Lending holds the settings for lending slots between entry processes.
 type Lending struct {
-	// LeaseMillis is 0 to turn lending off, and else at least shortestLoan.
-	LeaseMillis    clock.Millis
+	// LeaseMillis is the lease of lent slots: 0 turns lending off, otherwise it is
+	// at least minLendingLeaseMillis.
+	LeaseMillis clock.Millis
+	// ReservePercent is the share of the slots of each upstream that is never
+	// lent, rounded up.
 	ReservePercent int
 }
 
-// ControlLimits holds the bounds of a control process.
+// ControlLimits holds the limits of a control process.
 type ControlLimits struct {
 	LeaseMillis clock.Millis
 	DrainMillis clock.Millis
 }
 
-// Consensus holds the timing and the file sizes of the replicated log.
+// Consensus holds the timing of the Raft group and the file sizes of its log.
 type Consensus struct {
 	ElectionMillis clock.Millis
 	// HeartbeatMillis is at most a third of ElectionMillis.
 	HeartbeatMillis clock.Millis
 	// SnapshotEvery is the number of log entries from one snapshot to the next.
 	SnapshotEvery int
-	SegmentBytes  int64
+	// SegmentBytes is the size at which a log segment is closed.
+	SegmentBytes int64
 }
 
-// Platform is the platform's interface in one zone.
+// Platform is the address of the platform's interface in one availability zone.
 type Platform struct {
 	Zone    model.Zone
 	Address string
 }
 
-// Maintenance holds the times of maintenance waves.
+// Maintenance holds the timing of maintenance waves.
 type Maintenance struct {
-	// MaintenanceMillis is the longest time that one maintenance keeps an instance out
-	// of service; at most StuckMillis.
+	// MaintenanceMillis is the longest time that one maintenance keeps an instance
+	// out of service. It is at most StuckMillis.
 	MaintenanceMillis clock.Millis
-	CanaryMillis      clock.Millis
-	StuckMillis       clock.Millis
-	// PeriodDays is 0 to turn the periodic goal off. MarginDays is below it.
+	// CanaryMillis is how long the first instance of a wave is observed after its
+	// return before others follow.
+	CanaryMillis clock.Millis
+	// StuckMillis is the time after which an instance that has not returned from
+	// maintenance counts as failed.
+	StuckMillis clock.Millis
+	// PeriodDays is the time within which every instance is maintained once; 0
+	// turns periodic maintenance off. MarginDays is how long before the end of the
+	// period an instance becomes due; it is below PeriodDays.
 	PeriodDays int
 	MarginDays int
 }
@@ -78,10 +89,10 @@
 	Name   model.Process
 	Zone   model.Zone
 	Listen Listen
-	// Controls lists the control members, sorted by name; at least one.
+	// Controls lists the control members, sorted by name. It is not empty.
 	Controls []model.Member
-	// Entries lists the entry processes with their peers addresses, sorted by
-	// name; it contains this process.
+	// Entries lists the entry processes with the addresses for their peers, sorted
+	// by name. It contains this process.
 	Entries []model.Member
 	Limits  Limits
 	Lending Lending
@@ -97,57 +108,59 @@
 	Zone       model.Zone
 	DataFolder string
 	Listen     Listen
-	// Controls lists the control members, sorted by name; it contains this
-	// process.
+	// Controls lists the control members, sorted by name. It contains this process.
 	Controls []model.Member
-	// GroupSize is the number of members that the group keeps whatever joins
-	// it; below the number of Controls it counts as that.
+	// GroupSize is the least number of members that the control group keeps,
+	// however many join it. If it is below the number of Controls, that number
+	// applies.
 	GroupSize int
 	// Entries lists the entry processes, sorted by name.
 	Entries []model.Member
-	// Platforms lists the platform's interfaces, at most one for each zone.
+	// Platforms lists the platform's interfaces, at most one per zone. In a zone
+	// without one nothing is rebooted.
 	Platforms []Platform
 	Limits    ControlLimits
 	Consensus Consensus
-	// RepairAfterMillis is how long a lost instance is waited for before
-	// another takes its place.
+	// RepairAfterMillis is how long to wait for a lost instance to return before
+	// another instance replaces it.
 	RepairAfterMillis clock.Millis
-	// MaxExchangeMoves bounds the moves of one decision that only spread pools
-	// better.
+	// MaxExchangeMoves limits the moves of one decision whose only purpose is to
+	// spread pools better over failure domains.
 	MaxExchangeMoves int
-	// SurgePreference is roll-out-time, buffer-cost or off.
+	// SurgePreference says what to keep low when demand exceeds a pool:
+	// roll-out-time (waiting requests) or buffer-cost (idle instances); off leaves
+	// surges to the queues.
 	SurgePreference string
-	// SurgeMinSpare is the number of instances that each spare pool never lends.
+	// SurgeMinSpare is the number of instances of each spare pool that are never
+	// lent to a surge.
 	SurgeMinSpare int
-	// Maintenance times the waves.
-	Maintenance Maintenance
+	Maintenance   Maintenance
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// EventCapacity is the number of time-line events kept.
 	EventCapacity int
 }
 
-// LoadEntry reads the settings of an entry process.
+// LoadEntry reads the settings of an entry process from a file.
 func LoadEntry(path string) (Entry, error) { return load(path, ParseEntry) }
 
-// LoadControl reads the settings of a control process.
+// LoadControl reads the settings of a control process from a file.
 func LoadControl(path string) (Control, error) { return load(path, ParseControl) }
 
-// LoadContract reads a contract file.
+// LoadContract reads a contract from a file.
 func LoadContract(path string) (model.Contract, error) { return load(path, ParseContract) }
 
-// ParseEntry reads the settings of an entry process; file is named in errors.
+// ParseEntry parses the settings of an entry process. Errors name file.
 func ParseEntry(file string, data []byte) (Entry, error) {
 	return decode("entry settings", file, data, entryKeys(), checkEntry)
 }
 
-// ParseControl reads the settings of a control process; file is named in
-// errors.
+// ParseControl parses the settings of a control process. Errors name file.
 func ParseControl(file string, data []byte) (Control, error) {
 	return decode("control settings", file, data, controlKeys(), checkControl)
 }
 
-// ParseContract reads a contract; file is named in errors.
+// ParseContract parses a contract. Errors name file.
 func ParseContract(file string, data []byte) (model.Contract, error) {
 	return decode("contract", file, data, contractKeys(), checkContract)
 }
--- a/io/proto/conf/conf_test.go
+++ b/io/proto/conf/conf_test.go
@@ -14,8 +14,8 @@
 	"camphorridge/io/proto/conf"
 )
 
-// loadAny reads a file as the kind that its name starts with.
-func loadAny(path string) (any, error) {
+// loadByName loads a file as the kind of file with which its name starts.
+func loadByName(path string) (any, error) {
 	switch name := filepath.Base(path); {
 	case strings.HasPrefix(name, "control"):
 		return conf.LoadControl(path)
@@ -26,15 +26,15 @@
 	}
 }
 
-// TestFiles guards against a value that lands in the wrong field and against
-// an error that is lost, misplaced or reported in a later run only.
+// TestFiles checks that every value is stored in its own field, and that every
+// problem of a file is reported, at the right place and at the first attempt.
 func TestFiles(t *testing.T) {
 	paths, err := filepath.Glob("testdata/*.ini")
 	assert.NilError(t, err)
 	assert.Assert(t, len(paths) >= 8)
 	for _, path := range paths {
 		t.Run(filepath.Base(path), func(t *testing.T) {
-			v, err := loadAny(path)
+			v, err := loadByName(path)
 			text := strings.ReplaceAll(fmt.Sprintf("%+v\n", v), " ", "\n")
 			if err != nil {
 				text = err.Error() + "\n"
@@ -44,7 +44,7 @@
 	}
 }
 
-// TestErrorKinds guards against errors that callers cannot tell apart.
+// TestErrorKinds checks that callers can distinguish the reasons of errors.
 func TestErrorKinds(t *testing.T) {
 	large := filepath.Join(t.TempDir(), "large.ini")
 	assert.NilError(t, os.WriteFile(large, make([]byte, 1<<20+1), 0o600))
@@ -64,13 +64,13 @@
 	}
 }
 
-// TestReference guards against a reference page that differs from the tables.
+// TestReference checks that the reference page matches the tables of keys.
 func TestReference(t *testing.T) {
 	golden.Assert(t, conf.Reference(), "../../../../docs/settings.md")
 }
 
-// FuzzParse guards against input that makes the parser panic or that is
-// accepted although a name or an address is empty.
+// FuzzParse checks that no input makes a parser panic or is accepted although a
+// required name or address is empty.
 func FuzzParse(f *testing.F) {
 	paths, err := filepath.Glob("testdata/*.ini")
 	assert.NilError(f, err)
--- a/io/proto/conf/decode.go
+++ b/io/proto/conf/decode.go
@@ -9,14 +9,15 @@
 	"gopkg.in/ini.v1"
 )
 
-// maxFile bounds the size of a settings file; the largest possible list of
-// members takes less than a tenth of it.
-const maxFile = 1 << 20
+// maxFileBytes is the largest size of a settings file. The longest allowed list
+// of members takes less than a tenth of it.
+const maxFileBytes = 1 << 20
 
+// load reads the file at path and parses it.
 func load[T any](path string, parse func(string, []byte) (T, error)) (t T, err error) {
 	info, err := os.Stat(path)
-	if err == nil && info.Size() > maxFile {
-		err = fmt.Errorf("%s has %d bytes, more than %d", path, info.Size(), maxFile)
+	if err == nil && info.Size() > maxFileBytes {
+		err = fmt.Errorf("%s has %d bytes; allowed: at most %d", path, info.Size(), maxFileBytes)
 	}
 	if err != nil {
 		return t, &Error{Op: "read settings", Kind: KindRead, Err: err}
@@ -34,20 +35,21 @@
 	keys     []Key[T]
 	value    T
 	problems []Problem
-	// seen holds the sections met, with the keys in them.
-	seen map[string]map[string]bool
+	// keysSeen holds the keys found so far in each section.
+	keysSeen map[string]map[string]bool
 }
 
-func (d *decoder[T]) add(section, key, value, reason, allowed string) {
+// addProblem records a problem of the file.
+func (d *decoder[T]) addProblem(section, key, value, reason, allowed string) {
 	d.problems = append(d.problems, Problem{
 		File: d.file, Section: section, Key: key, Value: value, Reason: reason, Allowed: allowed,
 	})
 }
 
-// sound reports whether no problem was found in the given settings, each
-// "section/key" or a prefix of it. Checks across keys ask it first, so that
-// one fault is reported once.
-func (d *decoder[T]) sound(settings ...string) bool {
+// noProblemIn reports whether no problem was found in the given settings, each
+// "section/key" or a prefix of it. Checks across keys call it first, so that a
+// wrong value is reported only once.
+func (d *decoder[T]) noProblemIn(settings ...string) bool {
 	return !slices.ContainsFunc(d.problems, func(p Problem) bool {
 		return slices.ContainsFunc(settings, func(s string) bool {
 			return strings.HasPrefix(p.Section+"/"+p.Key, s)
@@ -55,11 +57,11 @@
 	})
 }
 
-// decode reads data by the table of keys, then checks across keys.
+// decode parses data according to the table of keys, then calls check for the
+// checks across keys. It returns an *Error with all problems of the file.
 func decode[T any](op, file string, data []byte, keys []Key[T], check func(*decoder[T])) (t T, err error) {
-	// Shadows and non-unique sections keep duplicates, which the library
-	// otherwise merges in silence. Only "=" delimits, since addresses contain
-	// colons.
+	// Shadows and non-unique sections keep duplicates, which the library otherwise
+	// merges silently. Only "=" is a delimiter, because addresses contain colons.
 	f, err := ini.LoadSources(ini.LoadOptions{
 		AllowShadows:               true,
 		AllowDuplicateShadowValues: true,
@@ -71,11 +73,11 @@
 	if err != nil {
 		return t, newError(op, KindSyntax, []Problem{{File: file, Reason: strings.TrimSpace(err.Error())}})
 	}
-	d := &decoder[T]{file: file, keys: keys, seen: map[string]map[string]bool{}}
+	d := &decoder[T]{file: file, keys: keys, keysSeen: map[string]map[string]bool{}}
 	for _, s := range f.Sections() {
-		d.section(s)
+		d.readSection(s)
 	}
-	d.absent()
+	d.handleAbsentKeys()
 	check(d)
 	if len(d.problems) > 0 {
 		return t, newError(op, KindInvalid, d.problems)
@@ -83,71 +85,76 @@
 	return d.value, nil
 }
 
-func (d *decoder[T]) section(s *ini.Section) {
+// readSection reads the keys of a section. It reports unknown and duplicate
+// sections, duplicate keys, and keys before the first section.
+func (d *decoder[T]) readSection(s *ini.Section) {
 	name := s.Name()
 	if name == ini.DefaultSection {
 		for _, k := range s.Keys() {
-			d.add("", k.Name(), k.Value(), "key outside of a section", sections(d.keys))
+			d.addProblem("", k.Name(), k.Value(), "key outside of a section", sectionNames(d.keys))
 		}
 		return
 	}
-	if !slices.ContainsFunc(d.keys, func(k Key[T]) bool { _, ok := matchFamily(k.Section, name); return ok }) {
-		d.add(name, "", "", "unknown section", sections(d.keys))
+	if !slices.ContainsFunc(d.keys, func(k Key[T]) bool { _, ok := matchPlaceholder(k.Section, name); return ok }) {
+		d.addProblem(name, "", "", "unknown section", sectionNames(d.keys))
 		return
 	}
-	if d.seen[name] != nil {
-		d.add(name, "", "", "duplicate section", "each section once")
+	if d.keysSeen[name] != nil {
+		d.addProblem(name, "", "", "duplicate section", "each section once")
 	} else {
-		d.seen[name] = map[string]bool{}
+		d.keysSeen[name] = map[string]bool{}
 	}
 	for _, k := range s.Keys() {
 		values := k.ValueWithShadows()
-		if len(values) > 1 || d.seen[name][k.Name()] {
-			d.add(name, k.Name(), k.Value(), "duplicate key", "each key once")
+		if len(values) > 1 || d.keysSeen[name][k.Name()] {
+			d.addProblem(name, k.Name(), k.Value(), "duplicate key", "each key once")
 		}
-		if !d.seen[name][k.Name()] {
-			d.key(name, k.Name(), k.Value())
+		if !d.keysSeen[name][k.Name()] {
+			d.readKey(name, k.Name(), k.Value())
 		}
-		d.seen[name][k.Name()] = true
+		d.keysSeen[name][k.Name()] = true
 	}
 }
 
-func (d *decoder[T]) key(section, key, value string) {
+// readKey stores the value of one key, or reports that the key is unknown or the
+// value is not allowed.
+func (d *decoder[T]) readKey(section, key, value string) {
 	for _, k := range d.keys {
-		name, inSection := matchFamily(k.Section, section)
-		member, found := matchFamily(k.Name, key)
+		name, inSection := matchPlaceholder(k.Section, section)
+		member, found := matchPlaceholder(k.Name, key)
 		if !inSection || !found {
 			continue
 		}
 		if !k.set(&d.value, name+member, value) {
-			d.add(section, key, value, "value not allowed", k.Allowed)
+			d.addProblem(section, key, value, "value not allowed", k.Allowed)
 		}
 		return
 	}
-	d.add(section, key, value, "unknown key", names(d.keys, section))
+	d.addProblem(section, key, value, "unknown key", keyNames(d.keys, section))
 }
 
-// absent sets the defaults of absent keys and reports the required ones. A
-// family of sections has the sections that are in the file, the others are
-// treated as present.
-func (d *decoder[T]) absent() {
+// handleAbsentKeys sets the defaults of absent keys and reports required keys that
+// are absent. It does so for every section without a placeholder, even if the
+// file lacks the section, and for those sections with a chosen name that are in
+// the file.
+func (d *decoder[T]) handleAbsentKeys() {
 	for _, k := range d.keys {
-		found := []string{k.Section}
-		if strings.HasSuffix(k.Section, family) {
-			found = found[:0]
-			for s := range d.seen {
-				if _, ok := matchFamily(k.Section, s); ok {
-					found = append(found, s)
+		sections := []string{k.Section}
+		if strings.HasSuffix(k.Section, namePlaceholder) {
+			sections = sections[:0]
+			for s := range d.keysSeen {
+				if _, ok := matchPlaceholder(k.Section, s); ok {
+					sections = append(sections, s)
 				}
 			}
-			slices.Sort(found)
+			slices.Sort(sections)
 		}
-		for _, s := range found {
-			if d.seen[s][k.Name] {
+		for _, s := range sections {
+			if d.keysSeen[s][k.Name] {
 				continue
 			}
 			if k.required() {
-				d.add(s, k.Name, "", "missing key", k.Allowed)
+				d.addProblem(s, k.Name, "", "missing key", k.Allowed)
 			} else if k.Default != "" {
 				k.set(&d.value, "", k.Default)
 			}
@@ -155,27 +162,27 @@
 	}
 }
 
-// sections lists the sections of a table, for error messages.
-func sections[T any](keys []Key[T]) string {
+// sectionNames returns the sections of a table of keys, for error messages.
+func sectionNames[T any](keys []Key[T]) string {
 	var list []string
 	for _, k := range keys {
 		list = append(list, "["+k.Section+"]")
 	}
-	return join(list)
+	return joinDistinct(list)
 }
 
-// names lists the keys of a section, for error messages.
-func names[T any](keys []Key[T], section string) string {
+// keyNames returns the keys of a section, for error messages.
+func keyNames[T any](keys []Key[T], section string) string {
 	var list []string
 	for _, k := range keys {
-		if _, ok := matchFamily(k.Section, section); !ok {
+		if _, ok := matchPlaceholder(k.Section, section); !ok {
 			continue
 		}
-		if strings.HasSuffix(k.Name, family) {
+		if strings.HasSuffix(k.Name, namePlaceholder) {
 			list = append(list, k.Name+" with a NAME of "+nameRule.allowed)
 			continue
 		}
 		list = append(list, k.Name)
 	}
-	return join(list)
+	return joinDistinct(list)
 }
--- a/io/proto/conf/doc.go
+++ b/io/proto/conf/doc.go
@@ -1,5 +1,5 @@
-// Package conf reads the settings of the server roles and the contract files,
-// both INI, into plain structs. One table of keys per kind of file drives
-// parsing, checking and the reference in docs/settings.md. All errors of a
-// file are reported in one run.
+// Package conf parses the INI files of the system into structs: the settings of
+// entry and control processes, contracts, and jobs. For each kind of file, one
+// table of keys defines parsing, checking and the reference page
+// docs/settings.md. All problems of a file are reported at once.
 package conf
--- a/io/proto/conf/error.go
+++ b/io/proto/conf/error.go
@@ -6,10 +6,10 @@
 	"strings"
 )
 
-// Kind tells the errors of the package apart.
+// Kind is the reason of an Error.
 type Kind int
 
-// The kinds of error.
+// Reasons of an Error.
 const (
 	// KindRead: the file cannot be read or is too large.
 	KindRead Kind = iota
@@ -19,14 +19,14 @@
 	KindInvalid
 )
 
-// Problem is one error of a file. Empty fields do not apply.
+// Problem is one fault of a file. Fields that do not apply are empty.
 type Problem struct {
 	File    string
 	Section string
 	Key     string
 	Value   string
 	Reason  string
-	// Allowed says what would be accepted.
+	// Allowed describes what is accepted in place of Value.
 	Allowed string
 }
 
@@ -53,13 +53,14 @@
 	return b.String()
 }
 
-// Error is the error type of the package.
+// Error is the error type that all functions of the package return.
 type Error struct {
 	Op   string
 	Kind Kind
 	Err  error
-	// Problems lists every error found in the file, in the order of the file
-	// and then of the checks across keys. It is empty for KindRead.
+	// Problems lists every fault found: first those of single keys in the order of
+	// the file, then absent keys, then those found by checks across keys. It is
+	// empty for KindRead.
 	Problems []Problem
 }
 
@@ -74,7 +75,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// newError wraps the problems found in a file.
+// newError returns an Error with the problems found in a file.
 func newError(op string, kind Kind, problems []Problem) *Error {
 	errs := make([]error, 0, len(problems))
 	for _, p := range problems {
--- a/io/proto/conf/job_test.go
+++ b/io/proto/conf/job_test.go
@@ -11,7 +11,7 @@
 	"camphorridge/io/proto/conf"
 )
 
-const goodJob = `[job]
+const validJob = `[job]
 id = nightly-7
 queue = reports
 spec = build --all
@@ -35,10 +35,10 @@
 after = fetch, render
 `
 
-// TestJobFile guards against steps that lose their order, their dependencies or
-// a setting.
+// TestJobFile checks that the steps of a job keep their order, their dependencies
+// and their settings.
 func TestJobFile(t *testing.T) {
-	j, err := conf.ParseJob("job.ini", []byte(goodJob))
+	j, err := conf.ParseJob("job.ini", []byte(validJob))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, j, jobs.Job{
 		ID: "nightly-7", Queue: "reports", Spec: "build --all", OccurrenceCount: 2, FirstDue: 1796382000000, Interval: 60_000,
@@ -50,8 +50,8 @@
 	})
 }
 
-// TestJobFileErrors guards against a job that is handed in although its file is
-// wrong, and against an error that does not name the key.
+// TestJobFileErrors checks that a faulty job file is rejected, with an error that
+// names the file and the key.
 func TestJobFileErrors(t *testing.T) {
 	for _, c := range []struct{ name, old, new, want string }{
 		{"no identity", "id = nightly-7\n", "", "id"},
@@ -62,11 +62,11 @@
 		{"unknown step", "after = fetch\n", "after = fetched\n", "fetched"},
 		{"later step", "estimate-ms = 900", "after = render", "render"},
 		{"too many tasks", "occurrences = 2", "occurrences = 1000", "20000"},
-		{"no steps", goodJob[strings.Index(goodJob, "[step fetch]"):], "", "no step"},
+		{"no steps", validJob[strings.Index(validJob, "[step fetch]"):], "", "no step"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Assert(t, strings.Contains(goodJob, c.old))
-			_, err := conf.ParseJob("job.ini", []byte(strings.Replace(goodJob, c.old, c.new, 1)))
+			assert.Assert(t, strings.Contains(validJob, c.old))
+			_, err := conf.ParseJob("job.ini", []byte(strings.Replace(validJob, c.old, c.new, 1)))
 			var e *conf.Error
 			assert.Assert(t, errors.As(err, &e), "got %v", err)
 			assert.ErrorContains(t, err, c.want)
--- a/io/proto/conf/key.go
+++ b/io/proto/conf/key.go
@@ -8,41 +8,41 @@
 	"camphorridge/core/state/model"
 )
 
-// family is the placeholder for a chosen name in a section or key: "pool
-// NAME" and "member-NAME" each stand for any number of names.
-const family = "NAME"
+// namePlaceholder stands for a chosen name in a section or key: "pool NAME" and
+// "member-NAME" each match any number of names.
+const namePlaceholder = "NAME"
 
-// Key describes one setting of T. It drives parsing, checking and the
-// reference.
+// Key describes one setting of T. Parsing, checking and the reference page use
+// it.
 type Key[T any] struct {
-	// Section and Name may end in the placeholder NAME; at most one of both
-	// does.
+	// Section and Name may end in the placeholder NAME, but not both.
 	Section string
 	Name    string
 	// Unit is empty for numbers without one and for text.
 	Unit string
-	// Default is the value used for an absent key. A key without default must
-	// be present, families and optional keys excepted.
+	// Default is the value used for an absent key. A key without default must be
+	// present, unless its name ends in the placeholder or it is optional.
 	Default string
 	// Optional says that the key may be absent although it has no default.
 	Optional bool
 	// Allowed describes the values that set accepts.
 	Allowed string
+	// Meaning describes the setting on the reference page.
 	Meaning string
-	// set stores a value, or reports false when the value is not allowed. The
-	// name is that of the family member, if any.
+	// set stores a value in t, or reports false if the value is not allowed. name
+	// is the text in place of the placeholder; it is empty for a key without one.
 	set func(t *T, name, value string) bool
 }
 
 // required reports whether an absent key is an error.
 func (k Key[T]) required() bool {
-	return k.Default == "" && !k.Optional && !strings.HasSuffix(k.Name, family)
+	return k.Default == "" && !k.Optional && !strings.HasSuffix(k.Name, namePlaceholder)
 }
 
-// matchFamily returns the name that stands in for the placeholder of pattern;
-// ok is false when text does not match.
-func matchFamily(pattern, text string) (name string, ok bool) {
-	prefix, isFamily := strings.CutSuffix(pattern, family)
+// matchPlaceholder returns the name that stands in for the placeholder of pattern;
+// ok is false if text does not match.
+func matchPlaceholder(pattern, text string) (name string, ok bool) {
+	prefix, isFamily := strings.CutSuffix(pattern, namePlaceholder)
 	if !isFamily {
 		return "", pattern == text
 	}
@@ -50,9 +50,10 @@
 	return name, ok && model.ValidName(name)
 }
 
+// integer is the type of a numeric setting.
 type integer interface{ ~int | ~int64 }
 
-// intKey describes a whole number from lo to hi.
+// intKey returns the key of a whole number from lo to hi.
 func intKey[T any, V integer](section, name, unit, def string, lo, hi V, meaning string, field func(*T) *V) Key[T] {
 	return Key[T]{
 		Section: section, Name: name, Unit: unit, Default: def, Meaning: meaning,
@@ -68,14 +69,14 @@
 	}
 }
 
-// rule is the check of a text value.
-type rule struct {
+// textRule defines which values of a text key are allowed.
+type textRule struct {
 	allowed string
 	accepts func(string) bool
 }
 
-// textKey describes a text value.
-func textKey[T any, V ~string](section, name, def string, r rule, meaning string, field func(*T) *V) Key[T] {
+// textKey returns the key of a text value.
+func textKey[T any, V ~string](section, name, def string, r textRule, meaning string, field func(*T) *V) Key[T] {
 	return Key[T]{
 		Section: section, Name: name, Default: def, Meaning: meaning, Allowed: r.allowed,
 		set: func(t *T, _, value string) bool {
@@ -88,7 +89,7 @@
 	}
 }
 
-// optional marks a key that may be absent and has no default.
+// optional returns k as a key that may be absent although it has no default.
 func optional[T any](k Key[T]) Key[T] {
 	k.Optional = true
 	return k
--- a/io/proto/conf/refer.go
+++ b/io/proto/conf/reference.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// Reference returns the page docs/settings.md: every key of every file, from
-// the tables that drive parsing and checking.
+// Reference returns the reference page docs/settings.md. It lists every key of
+// every kind of file, from the tables that parsing and checking use.
 func Reference() string {
 	var b strings.Builder
 	b.WriteString(`# Settings
@@ -23,14 +23,15 @@
 	return b.String()
 }
 
+// writeKeys writes one section of the page per section of the file.
 func writeKeys[T any](b *strings.Builder, title string, keys []Key[T]) {
 	fmt.Fprintf(b, "\n## %s\n", title)
-	var done []string
+	var written []string
 	for _, first := range keys {
-		if slices.Contains(done, first.Section) {
+		if slices.Contains(written, first.Section) {
 			continue
 		}
-		done = append(done, first.Section)
+		written = append(written, first.Section)
 		fmt.Fprintf(b, "\n### `[%s]`\n\n| key | unit | default | allowed | meaning |\n| --- | --- | --- | --- | --- |\n", first.Section)
 		for _, k := range keys {
 			if k.Section == first.Section {
@@ -40,7 +41,7 @@
 	}
 }
 
-// defaultText returns the default as shown in the reference.
+// defaultText returns the default as the reference page shows it.
 func (k Key[T]) defaultText() string {
 	switch {
 	case k.Default != "":
--- a/io/proto/conf/rule.go
+++ b/io/proto/conf/rule.go
@@ -9,15 +9,15 @@
 	"camphorridge/core/state/model"
 )
 
-// maxPath is the largest length of a path that the platform accepts.
-const maxPath = 4096
+// maxPathBytes is the longest path that the operating system accepts.
+const maxPathBytes = 4096
 
-var nameRule = rule{
+var nameRule = textRule{
 	allowed: "1 to 64 letters, digits, '-' and '_', starting with a letter or digit",
 	accepts: model.ValidName,
 }
 
-var listenRule = rule{
+var listenRule = textRule{
 	allowed: "ip:port with an IP number and a port from 0 to 65535",
 	accepts: func(s string) bool {
 		_, err := netip.ParseAddrPort(s)
@@ -25,27 +25,28 @@
 	},
 }
 
-var pathRule = rule{
+var pathRule = textRule{
 	allowed: "a folder of at most 4096 bytes",
 	accepts: func(s string) bool {
-		return s != "" && len(s) <= maxPath && !strings.ContainsRune(s, 0)
+		return s != "" && len(s) <= maxPathBytes && !strings.ContainsRune(s, 0)
 	},
 }
 
-var specRule = rule{
+var specRule = textRule{
 	allowed: "at most 4000 bytes",
 	accepts: func(s string) bool { return len(s) <= jobs.MaxSpecBytes },
 }
 
-// wordRule accepts one of the words.
-func wordRule(words ...string) rule {
-	return rule{
+// oneOfRule returns a rule that accepts exactly the given words.
+func oneOfRule(words ...string) textRule {
+	return textRule{
 		allowed: strings.Join(words, ", "),
 		accepts: func(s string) bool { return slices.Contains(words, s) },
 	}
 }
 
-// parseMember parses zone@ip:port.
+// parseMember parses the address of a process, zone@ip:port. ok is false if the
+// zone is not a valid name, the port is 0 or the IP number is unspecified.
 func parseMember(name, value string) (m model.Member, ok bool) {
 	zone, address, ok := strings.Cut(value, "@")
 	if !ok || !model.ValidName(zone) {
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -11,10 +11,11 @@
 
 const kib = 1 << 10
 
-// maxMembers bounds the process lists; the design has at most 7 control
-// members and one entry process for each of a few hundred instances.
-const maxMembers = 512
+// maxEntryMembers is the longest list of entry processes. The design has one entry
+// process for each of a few hundred instances, and at most 7 control members.
+const maxEntryMembers = 512
 
+// entryKeys returns the table of keys of an entry process.
 func entryKeys() []Key[Entry] {
 	return slices.Concat(
 		[]Key[Entry]{
@@ -34,6 +35,7 @@
 	)
 }
 
+// controlKeys returns the table of keys of a control process.
 func controlKeys() []Key[Control] {
 	return slices.Concat(
 		[]Key[Control]{
@@ -55,7 +57,7 @@
 		[]Key[Control]{
 			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "time that a lost instance is waited for before another takes its place", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
 			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "moves of one decision that only spread the pools better over failure domains; each is a disruption", func(c *Control) *int { return &c.MaxExchangeMoves }),
-			textKey("capacity", "surge", "roll-out-time", wordRule("roll-out-time", "buffer-cost", "off"), "what counts most when demand exceeds a pool: waiting requests, or idle instances; off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
+			textKey("capacity", "surge", "roll-out-time", oneOfRule("roll-out-time", "buffer-cost", "off"), "what counts most when demand exceeds a pool: waiting requests, or idle instances; off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
 			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "instances of each spare pool that are never lent to a surge: the loss that stays covered", func(c *Control) *int { return &c.SurgeMinSpare }),
 			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.MaintenanceMillis }),
 			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "time that the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
@@ -67,6 +69,7 @@
 	)
 }
 
+// listenKeys returns the keys of the addresses that both roles listen on.
 func listenKeys[T any](field func(*T) *Listen) []Key[T] {
 	return []Key[T]{
 		textKey("listen", "peers", "", listenRule, "address for the system's own processes and the command line", func(t *T) *string { return &field(t).Peers }),
@@ -74,6 +77,7 @@
 	}
 }
 
+// memberKeys returns the keys of the member lists, which both roles have.
 func memberKeys[T any](controls, entries func(*T) *[]model.Member) []Key[T] {
 	return []Key[T]{
 		memberKey("control", "zone and peers address of the control member NAME; one key each, equal in all processes", controls),
@@ -83,7 +87,7 @@
 
 func memberKey[T any](section, meaning string, field func(*T) *[]model.Member) Key[T] {
 	return Key[T]{
-		Section: section, Name: "member-" + family, Meaning: meaning,
+		Section: section, Name: "member-" + namePlaceholder, Meaning: meaning,
 		Allowed: "zone@ip:port with an IP number and a port from 1 to 65535",
 		set: func(t *T, name, value string) bool {
 			m, ok := parseMember(name, value)
@@ -95,11 +99,11 @@
 	}
 }
 
-// platformKey is optional: without it, or for another zone, nothing is
-// rebooted and maintenance waits.
+// platformKey returns the key of a platform interface. The key is optional: in a
+// zone without one nothing is rebooted, and maintenance waits.
 func platformKey() Key[Control] {
 	return Key[Control]{
-		Section: "platform", Name: "zone-" + family, Meaning: "address of the platform's interface in the availability zone NAME",
+		Section: "platform", Name: "zone-" + namePlaceholder, Meaning: "address of the platform's interface in the availability zone NAME",
 		Allowed: "ip:port with an IP number and a port from 1 to 65535",
 		set: func(c *Control, name, value string) bool {
 			ap, err := netip.ParseAddrPort(value)
@@ -109,6 +113,7 @@
 	}
 }
 
+// limitKeys returns the keys of the limits of an entry process.
 func limitKeys() []Key[Entry] {
 	return []Key[Entry]{
 		intKey("limits", "max-header-bytes", "bytes", "65536", kib, 1024*kib, "largest header of a request; a larger one is refused with 431", func(e *Entry) *int { return &e.Limits.MaxHeaderBytes }),
@@ -131,13 +136,15 @@
 	return intKey("limits", "drain-ms", "ms", "65000", 1, clock.Hour, "bound on a graceful stop; at least max-timeout-ms in an entry process", field)
 }
 
+// commonKeys returns the keys for logging and events, which both roles have.
 func commonKeys[T any](level func(*T) *string, capacity func(*T) *int) []Key[T] {
 	return []Key[T]{
-		textKey("log", "level", "info", wordRule("debug", "info", "warn", "error"), "least severe level that is logged", level),
+		textKey("log", "level", "info", oneOfRule("debug", "info", "warn", "error"), "least severe level that is logged", level),
 		intKey("events", "capacity", "events", "4096", 16, 1<<20, "time-line events kept; the oldest are dropped and counted", capacity),
 	}
 }
 
+// contractKeys returns the table of keys of a contract.
 func contractKeys() []Key[model.Contract] {
 	type contract = model.Contract
 	const many = 1_000_000
@@ -155,7 +162,7 @@
 		intKey("contract", "queue", "requests", "0", 0, many, "requests that may wait over all entry processes", func(c *contract) *int { return &c.Queue }),
 		intKey("contract", "retry-percent", "%", "10", 0, 100, "retries as a share of the first tries", func(c *contract) *int { return &c.RetryPercent }),
 		{
-			Section: "pool " + family, Name: "instances", Unit: "instances", Allowed: "1 to 100000",
+			Section: "pool " + namePlaceholder, Name: "instances", Unit: "instances", Allowed: "1 to 100000",
 			Meaning: "instances promised in the pool NAME; one section per pool",
 			set: func(c *contract, name, value string) bool {
 				n, err := strconv.Atoi(value)
