--- a/io/proto/codec/change_test.go
+++ b/io/proto/codec/change_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// fillName replaces an empty required fillName.
+// fillName sets a required name that is empty.
 func fillName[S ~string](s *S) {
 	if *s == "" {
 		*s = "n"
--- a/io/proto/report/events.go
+++ b/io/proto/report/events.go
@@ -8,18 +8,18 @@
 	"camphorridge/core/state/model"
 )
 
-// slot joins a key of an event's JSON object to the event's field.
-type slot struct {
+// eventField connects a key of an event's JSON object with the field of the event.
+type eventField struct {
 	name string
-	// to points to the field.
-	to any
-	// required fields are always written and must be present.
+	// pointer is a pointer to the field of the event.
+	pointer any
+	// required says that the key is always written and must be present.
 	required bool
 }
 
-// slots lists the fields of an event; it drives both directions.
-func slots(e *model.Event) []slot {
-	return []slot{
+// eventFields returns the fields of e. Encoding and decoding both use it.
+func eventFields(e *model.Event) []eventField {
+	return []eventField{
 		{"stamp-ms", &e.Stamp.Wall, true},
 		{"stamp-count", &e.Stamp.Count, true},
 		{"process", &e.Process, true},
@@ -35,10 +35,12 @@
 	}
 }
 
+// eventObject returns the JSON object of an event, without optional fields that
+// are empty.
 func eventObject(e model.Event) object {
 	var o object
-	for _, s := range slots(&e) {
-		v := reflect.ValueOf(s.to).Elem()
+	for _, s := range eventFields(&e) {
+		v := reflect.ValueOf(s.pointer).Elem()
 		if s.required || !v.IsZero() {
 			o = append(o, field{s.name, v.Interface()})
 		}
@@ -46,17 +48,19 @@
 	return o
 }
 
-// EventsToJSON returns the events as a JSON list, without the empty fields.
+// EventsToJSON returns the events as a JSON list. Empty optional fields are left
+// out.
 func EventsToJSON(events []model.Event) ([]byte, error) {
-	data, err := json.Marshal(list(events, eventObject))
+	data, err := json.Marshal(mapObjects(events, eventObject))
 	if err != nil {
 		return nil, &Error{Op: "encode events", Kind: KindFormat, Err: err}
 	}
 	return data, nil
 }
 
-// EventsFromJSON reads a list written by EventsToJSON. Unknown keys are
-// ignored, so that processes of two releases understand each other.
+// EventsFromJSON parses a list written by EventsToJSON. It ignores unknown keys, so
+// that processes of different releases can exchange events. It returns an *Error
+// of KindDecode if the list is malformed or an event lacks a required key.
 func EventsFromJSON(data []byte) ([]model.Event, error) {
 	var items []map[string]json.RawMessage
 	if err := json.Unmarshal(data, &items); err != nil {
@@ -64,7 +68,7 @@
 	}
 	out := make([]model.Event, len(items))
 	for i, item := range items {
-		for _, s := range slots(&out[i]) {
+		for _, s := range eventFields(&out[i]) {
 			raw, ok := item[s.name]
 			if !ok && s.required {
 				return nil, &Error{Op: "decode events", Kind: KindDecode, Err: fmt.Errorf("event %d has no %s", i, s.name)}
@@ -72,7 +76,7 @@
 			if !ok {
 				continue
 			}
-			if err := json.Unmarshal(raw, s.to); err != nil {
+			if err := json.Unmarshal(raw, s.pointer); err != nil {
 				return nil, &Error{Op: "decode events", Kind: KindDecode, Err: fmt.Errorf("event %d, %s: %w", i, s.name, err)}
 			}
 		}
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -9,8 +9,7 @@
 	"camphorridge/core/state/trail"
 )
 
-// adviceTexts says what each action means for the operator; the target is
-// filled in.
+// adviceTexts holds the advice to the operator for each action; %s is the target.
 var adviceTexts = map[trail.Action]string{
 	trail.ActionRaiseLimit:     "raise %s in the contract",
 	trail.ActionApplyContract:  "apply a contract: %s",
@@ -25,6 +24,7 @@
 	trail.ActionInspect:        "look at the limit %s",
 }
 
+// adviceText returns the advice in words.
 func adviceText(a trail.Advice) string {
 	text, ok := adviceTexts[a.Action]
 	if !ok {
@@ -33,45 +33,46 @@
 	return fmt.Sprintf(text, a.Target)
 }
 
-// Explain writes an explanation.
+// Explain writes the explanation of a customer, an instance or a request.
 func Explain(w io.Writer, f Format, x trail.Explanation) error {
 	return render(w, "report explanation", f, func() string { return explainText(x) }, func() any { return explainObject(x) })
 }
 
 func explainText(x trail.Explanation) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s at %s\n", x.Subject, clean(x.Name), timeText(x.Now))
+	fmt.Fprintf(&b, "%s %s at %s\n", x.Subject, printable(x.Name), timeText(x.Now))
 	if !x.Found {
-		b.WriteString("neither the present state nor the events kept mention it\n")
+		b.WriteString("neither the current state nor the retained events mention it\n")
 	}
 	if x.Instance.ID != "" {
 		t := newTable("ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "REASON")
 		i := x.Instance
 		t.add(i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), i.Reason)
-		section(&b, "Present", t)
+		writeSection(&b, "Present", t)
 	}
 	pools := newTable("POOL", "USE", "PROMISED", "SERVING", "RELEASING", "MAINTENANCE")
 	for _, p := range x.Pools {
 		pools.add(p.Pool, poolUse(p), p.Promised, p.Serving, p.Releasing, p.Maintenance)
 	}
-	section(&b, "Pools", pools)
-	section(&b, "Limits that bound", boundsTable(x.LimitHits))
-	section(&b, "In the way now", blocksTable(x.Obstacles))
+	writeSection(&b, "Pools", pools)
+	writeSection(&b, "Limits that were hit", limitHitsTable(x.LimitHits))
+	writeSection(&b, "In the way now", obstaclesTable(x.Obstacles))
 	if x.OmittedEvents > 0 {
 		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
 	}
-	section(&b, "Events", eventsTable(x.Events))
-	section(&b, "Events of the same instances around it", eventsTable(x.RelatedEvents))
+	writeSection(&b, "Events", eventsTable(x.Events))
+	writeSection(&b, "Events of the same instances around it", eventsTable(x.RelatedEvents))
 	return b.String()
 }
 
-// section writes a titled table, or nothing for an empty one.
-func section(b *strings.Builder, title string, t *table) {
+// writeSection writes a title and the table, or nothing if the table is empty.
+func writeSection(b *strings.Builder, title string, t *table) {
 	if len(t.rows) > 0 {
 		fmt.Fprintf(b, "\n%s\n%s", title, t)
 	}
 }
 
+// poolUse returns whether the pool holds spare instances or serves requests.
 func poolUse(p trail.PoolState) string {
 	if p.Spare {
 		return "spare"
@@ -79,28 +80,29 @@
 	return "work"
 }
 
-func boundsTable(bounds []trail.LimitHit) *table {
+func limitHitsTable(hits []trail.LimitHit) *table {
 	t := newTable("LIMIT", "EVENT", "COUNT", "FIRST", "LAST", "TO-UNBLOCK", "DETAIL")
-	for _, l := range bounds {
+	for _, l := range hits {
 		t.add(l.Limit, l.Kind, l.Count, timeText(l.First.Wall), timeText(l.Last.Wall), adviceText(l.Advice), l.Detail)
 	}
 	return t
 }
 
-func blocksTable(blocks []trail.Obstacle) *table {
+func obstaclesTable(obstacles []trail.Obstacle) *table {
 	t := newTable("OBSTACLE", "CONCERNS", "SINCE", "TO-UNBLOCK")
-	for _, k := range blocks {
+	for _, k := range obstacles {
 		since := "-"
 		if k.Since != 0 {
 			since = timeText(k.Since)
 		}
-		t.add(k.Kind, concerns(k), since, adviceText(k.Advice))
+		t.add(k.Kind, obstacleSubjects(k), since, adviceText(k.Advice))
 	}
 	return t
 }
 
-// concerns lists the objects of an obstacle.
-func concerns(k trail.Obstacle) string {
+// obstacleSubjects returns the objects and values that an obstacle concerns, as
+// name=value pairs.
+func obstacleSubjects(k trail.Obstacle) string {
 	var parts []string
 	add := func(name, value string) {
 		if value != "" {
@@ -142,7 +144,7 @@
 	}
 	return append(
 		o,
-		field{"pools", list(x.Pools, func(p trail.PoolState) object {
+		field{"pools", mapObjects(x.Pools, func(p trail.PoolState) object {
 			return object{
 				{"pool", p.Pool},
 				{"spare", p.Spare},
@@ -152,7 +154,7 @@
 				{"maintenance", p.Maintenance},
 			}
 		})},
-		field{"bounds", list(x.LimitHits, func(b trail.LimitHit) object {
+		field{"bounds", mapObjects(x.LimitHits, func(b trail.LimitHit) object {
 			return object{
 				{"limit", b.Limit},
 				{"kind", b.Kind},
@@ -163,14 +165,14 @@
 				{"advice", adviceObject(b.Advice)},
 			}
 		})},
-		field{"blocks", list(x.Obstacles, blockObject)},
+		field{"blocks", mapObjects(x.Obstacles, obstacleObject)},
 		field{"omitted", x.OmittedEvents},
-		field{"events", list(x.Events, eventObject)},
-		field{"context", list(x.RelatedEvents, eventObject)},
+		field{"events", mapObjects(x.Events, eventObject)},
+		field{"context", mapObjects(x.RelatedEvents, eventObject)},
 	)
 }
 
-func blockObject(k trail.Obstacle) object {
+func obstacleObject(k trail.Obstacle) object {
 	return object{
 		{"kind", k.Kind},
 		{"instance", k.Instance},
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -9,31 +9,32 @@
 	"camphorridge/core/state/sched"
 )
 
-// limitTexts says what each limit on waiting tasks means, and what would help.
-var limitTexts = map[sched.WaitReason]string{
+// waitReasonTexts says, for each reason why tasks wait, what it means and what the
+// operator can do.
+var waitReasonTexts = map[sched.WaitReason]string{
 	sched.WaitNotDue:       "the occurrence is not due yet",
 	sched.WaitDependencies: "an earlier step is not done",
-	sched.WaitNoWorkers:    "no worker of the pool was heard lately: add machines to the pool or start their workers",
+	sched.WaitNoWorkers:    "no worker of the pool has sent a heartbeat lately: add machines to the pool or start their workers",
 	sched.WaitLabel:        "no worker of the pool has the required label: add such a machine",
 	sched.WaitSize:         "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
 	sched.WaitLeaving:      "the workers drain, or their machines are to be maintained or moved: wait, or add machines",
-	sched.WaitQuarantine:   "the workers are set aside because tasks fail on them: repair them, or wait until they are tried again",
+	sched.WaitQuarantine:   "the workers are quarantined because tasks fail on them: repair them, or wait until they are tried again",
 	sched.WaitAdvice:       "the advice service has not named a worker: look for advice lines in the leader's log",
-	sched.WaitPerWorker:    "each worker runs as many tasks of the step as it may: add machines",
-	sched.WaitCapacity:     "other tasks take the workers' room: wait, or add machines",
-	sched.WaitGang:         "there is room for some tasks of the gang and not for all: wait, or add machines",
+	sched.WaitPerWorker:    "each worker runs as many tasks of the step as allowed: add machines",
+	sched.WaitCapacity:     "other tasks use the workers' capacity: wait, or add machines",
+	sched.WaitGang:         "there is capacity for some tasks of the gang but not for all: wait, or add machines",
 	sched.WaitHeartbeat:    "a worker may take a task at its next heartbeat",
 }
 
-// JobStatus writes the state of a job.
+// JobStatus writes the status of a job.
 func JobStatus(w io.Writer, f Format, id jobs.ID, s jobs.Status) error {
 	return render(w, "report job", f,
-		func() string { return fmt.Sprintf("%s %s\n", clean(string(id)), s) },
+		func() string { return fmt.Sprintf("%s %s\n", printable(string(id)), s) },
 		func() any { return object{{"id", id}, {"status", s.String()}} })
 }
 
-// Jobs writes a list of jobs that have not ended, which may be a part of all of
-// them.
+// Jobs writes jobs that have not ended. total is the number of such jobs in all
+// queues; lines may hold only some of them.
 func Jobs(w io.Writer, f Format, lines []sched.JobSummary, total int) error {
 	return render(w, "report jobs", f, func() string {
 		t := newTable("ID", "QUEUE", "STATUS", "ACCEPTED", "ON-TIME-UNTIL")
@@ -42,59 +43,60 @@
 		}
 		return t.String() + fmt.Sprintf("%d shown, %d not ended in all queues\n", len(lines), total)
 	}, func() any {
-		return object{{"total", total}, {"jobs", list(lines, jobLineObject)}}
+		return object{{"total", total}, {"jobs", mapObjects(lines, jobSummaryObject)}}
 	})
 }
 
-func jobLineObject(l sched.JobSummary) object {
+func jobSummaryObject(l sched.JobSummary) object {
 	return object{
 		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.AcceptedAt}, {"on-time-until-ms", l.Deadline},
 	}
 }
 
-// Job writes how far a job is and what its waiting tasks wait for.
+// Job writes the progress of a job and the reasons why its tasks wait.
 func Job(w io.Writer, f Format, r sched.JobReport) error {
 	return render(w, "report job", f, func() string { return jobText(r) }, func() any { return jobObject(r) })
 }
 
 func jobText(r sched.JobReport) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "job %s of queue %s is %s at %s\n", clean(string(r.ID)), clean(string(r.Queue)), r.Status, timeText(r.Now))
+	fmt.Fprintf(&b, "job %s of queue %s is %s at %s\n", printable(string(r.ID)), printable(string(r.Queue)), r.Status, timeText(r.Now))
 	fmt.Fprintf(&b, "accepted %s, on time until %s, ended %s, runs in pool %s\n",
-		timeText(r.AcceptedAt), timeText(r.Deadline), timeText(r.EndedAt), clean(string(r.Pool)))
+		timeText(r.AcceptedAt), timeText(r.Deadline), timeText(r.EndedAt), printable(string(r.Pool)))
 	steps := newTable("OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "RUNS", "FAILED", "WAITS-FOR")
-	var why []string
+	var reasons []string
 	for _, s := range r.Steps {
 		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.WaitReason)
 		if s.WaitReason != sched.WaitNone {
-			why = append(why, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, limitText(s.WaitReason)))
+			reasons = append(reasons, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, waitReasonText(s.WaitReason)))
 		}
 	}
-	section(&b, "Steps", steps)
+	writeSection(&b, "Steps", steps)
 	runs := newTable("OCCURRENCE", "STEP", "INDEX", "RUN", "WORKER", "PERCENT", "SINCE", "STOPPING")
 	for _, x := range r.Runs {
 		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.StartedAt), x.StopReason)
 	}
-	section(&b, "Running", runs)
-	if len(why) > 0 {
-		b.WriteString("\nIn the way now\n" + strings.Join(why, "\n") + "\n")
+	writeSection(&b, "Running", runs)
+	if len(reasons) > 0 {
+		b.WriteString("\nIn the way now\n" + strings.Join(reasons, "\n") + "\n")
 	}
 	return b.String()
 }
 
-func limitText(l sched.WaitReason) string {
-	if text, ok := limitTexts[l]; ok {
+// waitReasonText returns the text of a reason, or its name if it has no text.
+func waitReasonText(l sched.WaitReason) string {
+	if text, ok := waitReasonTexts[l]; ok {
 		return text
 	}
-	return clean(string(l))
+	return printable(string(l))
 }
 
 func jobObject(r sched.JobReport) object {
-	return append(jobLineObject(r.JobSummary), object{
+	return append(jobSummaryObject(r.JobSummary), object{
 		{"pool", r.Pool},
 		{"now-ms", r.Now},
 		{"ended-ms", r.EndedAt},
-		{"steps", list(r.Steps, func(s sched.StepReport) object {
+		{"steps", mapObjects(r.Steps, func(s sched.StepReport) object {
 			return object{
 				{"occurrence", s.Occurrence},
 				{"step", s.Step},
@@ -107,7 +109,7 @@
 				{"waits-for", s.WaitReason},
 			}
 		})},
-		{"running", list(r.Runs, func(x sched.RunReport) object {
+		{"running", mapObjects(r.Runs, func(x sched.RunReport) object {
 			return object{
 				{"occurrence", x.Task.Occurrence},
 				{"step", x.Task.Step},
--- a/io/proto/report/json.go
+++ b/io/proto/report/json.go
@@ -5,15 +5,16 @@
 	"encoding/json"
 )
 
-// object is a JSON object that keeps the order of its fields.
+// object is a JSON object with its fields in a fixed order.
 type object []field
 
+// field is one field of a JSON object.
 type field struct {
 	name  string
 	value any
 }
 
-// MarshalJSON writes the fields in their order.
+// MarshalJSON returns the object with its fields in their order.
 func (o object) MarshalJSON() ([]byte, error) {
 	var b bytes.Buffer
 	b.WriteByte('{')
@@ -37,8 +38,9 @@
 	return b.Bytes(), nil
 }
 
-// list maps every element; the result of none is an empty list and not null.
-func list[T any](in []T, f func(T) object) []object {
+// mapObjects applies f to every element. The result is never nil, so that an empty
+// list is [] in JSON and not null.
+func mapObjects[T any](in []T, f func(T) object) []object {
 	out := make([]object, 0, len(in))
 	for _, v := range in {
 		out = append(out, f(v))
@@ -46,7 +48,8 @@
 	return out
 }
 
-func encode(v any) (string, error) {
+// encodeJSON returns v as indented JSON, with a newline at the end.
+func encodeJSON(v any) (string, error) {
 	data, err := json.MarshalIndent(v, "", "  ")
 	return string(data) + "\n", err
 }
--- a/io/proto/report/limits.go
+++ b/io/proto/report/limits.go
@@ -8,9 +8,9 @@
 	"camphorridge/core/state/model"
 )
 
-// derive returns the limits that a contract leads to with the present
+// deriveLimits returns the limits that follow from a contract and the current
 // instances.
-func derive(c model.Contract, instances []model.Instance) limits.Set {
+func deriveLimits(c model.Contract, instances []model.Instance) limits.Set {
 	byID := make(map[model.InstanceID]model.Instance, len(instances))
 	for _, i := range instances {
 		byID[i.ID] = i
@@ -18,11 +18,12 @@
 	return limits.Derive(limits.MinSlots{}, c, limits.NewFleet(byID, model.Quota{}))
 }
 
-// limitsTable shows how each limit follows from the contract.
+// limitsTable returns a table of the limits, with the rule and the operands from
+// which each is computed.
 func limitsTable(s limits.Set) *table {
 	t := newTable("LIMIT", "VALUE", "RULE", "FROM")
 	for _, l := range s.All() {
-		t.add(l.Name, limitValue(l.Value), l.Rule, figures(l))
+		t.add(l.Name, limitValue(l.Value), l.Rule, operandsText(l))
 	}
 	return t
 }
@@ -34,7 +35,8 @@
 	return fmt.Sprint(n)
 }
 
-func figures(l limits.Limit) string {
+// operandsText returns the names and values of the operands of a limit.
+func operandsText(l limits.Limit) string {
 	texts := make([]string, 0, len(l.Operands))
 	for _, f := range l.Operands {
 		texts = append(texts, fmt.Sprintf("%s %d", f.Name, f.Value))
@@ -47,6 +49,6 @@
 		{"limit", l.Name},
 		{"value", l.Value},
 		{"rule", l.Rule},
-		{"from", list(l.Operands, func(f limits.Operand) object { return object{{f.Name, f.Value}} })},
+		{"from", mapObjects(l.Operands, func(f limits.Operand) object { return object{{f.Name, f.Value}} })},
 	}
 }
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -11,20 +11,22 @@
 	"camphorridge/core/state/trail"
 )
 
-// byName returns a copy in the order of the names, so that equal states give
-// equal reports.
-func byName[T any, K cmp.Ordered](in []T, key func(T) K) []T {
+// sortedBy returns a copy of in, sorted by key, so that equal states give equal
+// reports.
+func sortedBy[T any, K cmp.Ordered](in []T, key func(T) K) []T {
 	out := slices.Clone(in)
 	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
 	return out
 }
 
-func contracts(s Status) []model.Contract {
-	return byName(s.Contracts, func(c model.Contract) model.Customer { return c.Customer })
+// sortedContracts returns the contracts sorted by customer.
+func sortedContracts(s Status) []model.Contract {
+	return sortedBy(s.Contracts, func(c model.Contract) model.Customer { return c.Customer })
 }
 
-// derived shows a limit that 0 leaves to the system.
-func derived(n int) string {
+// valueOrDerived returns the text of a limit: "derived" for 0, which means that the
+// system computes the limit.
+func valueOrDerived(n int) string {
 	if n == 0 {
 		return "derived"
 	}
@@ -35,19 +37,21 @@
 func Contracts(w io.Writer, f Format, s Status) error {
 	return render(w, "report contracts", f, func() string {
 		t := newTable("CUSTOMER", "VERSION", "COVERS", "POOLS", "INSTANCES", "CONCURRENCY", "QUEUE", "MAX-UNAVAILABLE", "BUDGET", "WINDOW", "SPARE")
-		for _, c := range contracts(s) {
-			n := 0
+		for _, c := range sortedContracts(s) {
+			instances := 0
 			for _, p := range c.Pools {
-				n += p.Instances
+				instances += p.Instances
 			}
-			t.add(c.Customer, c.Version, c.Covers, len(c.Pools), n, derived(c.Concurrency), c.Queue,
+			t.add(c.Customer, c.Version, c.Covers, len(c.Pools), instances, valueOrDerived(c.Concurrency), c.Queue,
 				c.MaxUnavailable, spanText(c.BudgetMillis), spanText(c.WindowMillis), c.Spare)
 		}
 		return t.String()
-	}, func() any { return object{{"contracts", list(contracts(s), contractObject)}} })
+	}, func() any { return object{{"contracts", mapObjects(sortedContracts(s), contractObject)}} })
 }
 
-// Contract writes one contract with the instances that each pool has now.
+// Contract writes one contract, with the number of serving instances of each of
+// its pools and the limits that follow from it. It returns an *Error of
+// KindNotFound if the customer has no contract.
 func Contract(w io.Writer, f Format, s Status, name model.Customer) error {
 	i := slices.IndexFunc(s.Contracts, func(c model.Contract) bool { return c.Customer == name })
 	if i < 0 {
@@ -56,7 +60,7 @@
 	c := s.Contracts[i]
 	return render(w, "report contract", f, func() string { return contractText(c, s.Instances) },
 		func() any {
-			return append(contractObject(c), object{{"limits", list(derive(c, s.Instances).All(), limitObject)}}...)
+			return append(contractObject(c), object{{"limits", mapObjects(deriveLimits(c, s.Instances).All(), limitObject)}}...)
 		})
 }
 
@@ -65,7 +69,7 @@
 	t.add("customer", c.Customer)
 	t.add("version", c.Version)
 	t.add("covers", c.Covers)
-	t.add("concurrency", derived(c.Concurrency))
+	t.add("concurrency", valueOrDerived(c.Concurrency))
 	t.add("queue", c.Queue)
 	t.add("retry-percent", c.RetryPercent)
 	t.add("max-unavailable", c.MaxUnavailable)
@@ -86,32 +90,36 @@
 		}
 		p.add(share.Pool, share.Instances, serving)
 	}
-	return t.String() + "\n" + p.String() + "\n" + limitsTable(derive(c, instances)).String()
+	return t.String() + "\n" + p.String() + "\n" + limitsTable(deriveLimits(c, instances)).String()
 }
 
-// Instances writes the instances that the selector picks.
+// Instances writes the instances that match the selector, sorted by id.
 func Instances(w io.Writer, f Format, s Status, sel model.Selector) error {
-	var picked []model.Instance
-	for _, i := range byName(s.Instances, func(i model.Instance) model.InstanceID { return i.ID }) {
+	var selected []model.Instance
+	for _, i := range sortedBy(s.Instances, func(i model.Instance) model.InstanceID { return i.ID }) {
 		if sel.Matches(i) {
-			picked = append(picked, i)
+			selected = append(selected, i)
 		}
 	}
 	return render(w, "report instances", f, func() string {
 		t := newTable("INSTANCE", "ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "MAINTAINED", "SLOTS", "VERSION", "REASON")
-		for _, i := range picked {
+		for _, i := range selected {
 			t.add(i.ID, i.Zone, i.Rack, i.Pool, i.Target, i.Phase, timeText(i.PhaseSince), timeText(i.MaintainedAt), i.Slots, i.Version, i.Reason)
 		}
 		return t.String()
-	}, func() any { return object{{"instances", list(picked, instanceObject)}} })
+	}, func() any { return object{{"instances", mapObjects(selected, instanceObject)}} })
 }
 
-// progress is how far a declared maintenance got.
+// progress counts the instances of a declared maintenance.
 type progress struct {
 	selected, maintained, underWay int
-	overdue                        bool
+	// overdue says that the deadline has passed and not all instances are
+	// maintained.
+	overdue bool
 }
 
+// progressOf returns the progress of a declared maintenance. Retired instances
+// are not counted.
 func progressOf(m model.Maintenance, s Status) progress {
 	var p progress
 	for _, i := range s.Instances {
@@ -130,6 +138,8 @@
 	return p
 }
 
+// selectorText returns the selector as name=value pairs, or "all" if it selects
+// every instance.
 func selectorText(sel model.Selector) string {
 	var parts []string
 	for _, p := range [][2]string{
@@ -145,55 +155,58 @@
 	return strings.Join(parts, ",")
 }
 
-// Maintenance writes the declared maintenance and how far each got.
+// Maintenance writes the declared maintenance and the progress of each, sorted by
+// name.
 func Maintenance(w io.Writer, f Format, s Status) error {
-	declared := byName(s.Maintenance, func(m model.Maintenance) string { return m.Name })
+	declared := sortedBy(s.Maintenance, func(m model.Maintenance) string { return m.Name })
 	return render(w, "report maintenance", f, func() string {
 		t := newTable("NAME", "SELECTOR", "DECLARED", "DEADLINE", "OVERDUE", "SELECTED", "MAINTAINED", "UNDER-WAY", "VERSION")
 		for _, m := range declared {
 			p := progressOf(m, s)
-			t.add(m.Name, selectorText(m.Selector), timeText(m.DeclaredAt), timeText(m.Deadline), yes(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
+			t.add(m.Name, selectorText(m.Selector), timeText(m.DeclaredAt), timeText(m.Deadline), yesNo(p.overdue), p.selected, p.maintained, p.underWay, m.Version)
 		}
 		return t.String()
 	}, func() any {
-		return object{{"maintenance", list(declared, func(m model.Maintenance) object {
+		return object{{"maintenance", mapObjects(declared, func(m model.Maintenance) object {
 			return maintenanceObject(m, progressOf(m, s))
 		})}}
 	})
 }
 
-func yes(b bool) string {
+func yesNo(b bool) string {
 	if b {
 		return "yes"
 	}
 	return "no"
 }
 
-// behind is the number of log entries between the table that the process runs
-// and the current one.
-func behind(s Status, p ProcessStatus) model.Version {
+// versionsBehind returns the number of versions between the table that the process
+// uses and the current table.
+func versionsBehind(s Status, p ProcessStatus) model.Version {
 	return s.Version - min(p.Version, s.Version)
 }
 
-func silent(s Status, p ProcessStatus) bool {
+// isSilent reports whether the process never sent a report, or none within
+// trail.ReportTimeout.
+func isSilent(s Status, p ProcessStatus) bool {
 	return p.LastReportAt == 0 || s.Now-p.LastReportAt > trail.ReportTimeout
 }
 
-// Overview writes the status: the control member asked, and which process
-// runs which version of the table since when.
+// Overview writes the status of the control member that answered and, for each
+// entry process, the version of the table that it uses and since when.
 func Overview(w io.Writer, f Format, s Status) error {
-	s.Processes = byName(s.Processes, func(p ProcessStatus) model.Process { return p.Name })
+	s.Processes = sortedBy(s.Processes, func(p ProcessStatus) model.Process { return p.Name })
 	return render(w, "report status", f, func() string {
-		head := newTable("MEMBER", "ROLE", "LEADER", "TERM", "COMMIT", "VERSION", "TIME", "CONTRACTS", "INSTANCES", "MAINTENANCE")
-		head.add(s.Member, s.Role, s.Leader, s.Term, s.Commit, s.Version, timeText(s.Now), len(s.Contracts), len(s.Instances), len(s.Maintenance))
+		member := newTable("MEMBER", "ROLE", "LEADER", "TERM", "COMMIT", "VERSION", "TIME", "CONTRACTS", "INSTANCES", "MAINTENANCE")
+		member.add(s.Member, s.Role, s.Leader, s.Term, s.Commit, s.Version, timeText(s.Now), len(s.Contracts), len(s.Instances), len(s.Maintenance))
 		t := newTable("PROCESS", "ZONE", "VERSION", "BEHIND", "DRAINED", "SINCE", "SEEN-AGO", "SILENT", "INCARNATION")
 		current := 0
 		for _, p := range s.Processes {
-			if p.Version == s.Version && !silent(s, p) {
+			if p.Version == s.Version && !isSilent(s, p) {
 				current++
 			}
-			t.add(p.Name, p.Zone, p.Version, behind(s, p), p.DrainedVersion, timeText(p.VersionSince), ageText(s.Now, p.LastReportAt), yes(silent(s, p)), p.Incarnation)
+			t.add(p.Name, p.Zone, p.Version, versionsBehind(s, p), p.DrainedVersion, timeText(p.VersionSince), ageText(s.Now, p.LastReportAt), yesNo(isSilent(s, p)), p.Incarnation)
 		}
-		return fmt.Sprintf("%s\n%s\n%d of %d processes are heard and run version %d\n", head, t, current, len(s.Processes), s.Version)
+		return fmt.Sprintf("%s\n%s\n%d of %d processes report and run version %d\n", member, t, current, len(s.Processes), s.Version)
 	}, func() any { return statusObject(s) })
 }
--- a/io/proto/report/measure.go
+++ b/io/proto/report/measures.go
@@ -10,7 +10,8 @@
 	"camphorridge/core/state/trail"
 )
 
-// Measures writes roll-out times, moves and the idle buffer.
+// Measures writes the roll-out times of changes, the number of moves and finished
+// maintenances, the idle instances, and the maintenance waves.
 func Measures(w io.Writer, f Format, m trail.Measures) error {
 	return render(w, "report measures", f, func() string { return measuresText(m) }, func() any { return measuresObject(m) })
 }
@@ -30,40 +31,41 @@
 		waves.add(x.Name, x.Maintained, x.Selected, spanText(x.Elapsed))
 	}
 	if len(m.Waves) > 0 {
-		section(&b, "Waves", waves)
+		writeSection(&b, "Waves", waves)
 	}
-	open := newTable("VERSION", "MISSING")
+	incomplete := newTable("VERSION", "MISSING")
 	for _, r := range m.Rollouts {
 		if len(r.Missing) > 0 {
-			open.add(r.Version, names(r.Missing))
+			incomplete.add(r.Version, processNames(r.Missing))
 		}
 	}
 	if len(m.Rollouts) > 0 && m.Rollouts[len(m.Rollouts)-1].Missing != nil {
-		section(&b, "Changes that are not in force everywhere", open)
+		writeSection(&b, "Changes that are not in force everywhere", incomplete)
 	}
 	return b.String()
 }
 
 func millisText(m clock.Millis) string { return fmt.Sprintf("%d ms", m) }
 
-func names(all []model.Process) string {
-	texts := make([]string, 0, len(all))
-	for _, p := range all {
-		texts = append(texts, string(p))
+// processNames returns the names of the processes, separated by commas.
+func processNames(processes []model.Process) string {
+	names := make([]string, 0, len(processes))
+	for _, p := range processes {
+		names = append(names, string(p))
 	}
-	return strings.Join(texts, ", ")
+	return strings.Join(names, ", ")
 }
 
 func measuresObject(m trail.Measures) object {
 	return object{
-		{"changes", list(m.Rollouts, func(r trail.Rollout) object {
-			return object{{"version", r.Version}, {"elapsed-ms", r.Elapsed}, {"missing", names(r.Missing)}}
+		{"changes", mapObjects(m.Rollouts, func(r trail.Rollout) object {
+			return object{{"version", r.Version}, {"elapsed-ms", r.Elapsed}, {"missing", processNames(r.Missing)}}
 		})},
 		{"roll-out-median-ms", m.MedianRollout},
 		{"roll-out-worst-ms", m.LongestRollout},
 		{"moves", m.Moves},
 		{"maintained", m.FinishedMaintenances},
-		{"waves", list(m.Waves, func(x trail.Wave) object {
+		{"waves", mapObjects(m.Waves, func(x trail.Wave) object {
 			return object{{"wave", x.Name}, {"done", x.Maintained}, {"of", x.Selected}, {"elapsed-ms", x.Elapsed}}
 		})},
 		{"idle-instances", m.IdleInstances},
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -12,7 +12,7 @@
 		{"concurrency", c.Concurrency},
 		{"queue", c.Queue},
 		{"retry-percent", c.RetryPercent},
-		{"pools", list(c.Pools, func(p model.PoolShare) object {
+		{"pools", mapObjects(c.Pools, func(p model.PoolShare) object {
 			return object{{"pool", p.Pool}, {"instances", p.Instances}}
 		})},
 		{"disruption", object{
@@ -70,11 +70,11 @@
 		{"process", p.Name},
 		{"zone", p.Zone},
 		{"version", p.Version},
-		{"behind", behind(s, p)},
+		{"behind", versionsBehind(s, p)},
 		{"drained", p.DrainedVersion},
 		{"since-ms", p.VersionSince},
 		{"seen-ms", p.LastReportAt},
-		{"silent", silent(s, p)},
+		{"silent", isSilent(s, p)},
 		{"incarnation", p.Incarnation},
 	}
 }
@@ -91,6 +91,6 @@
 		{"contracts", len(s.Contracts)},
 		{"instances", len(s.Instances)},
 		{"maintenance", len(s.Maintenance)},
-		{"processes", list(s.Processes, func(p ProcessStatus) object { return processObject(p, s) })},
+		{"processes", mapObjects(s.Processes, func(p ProcessStatus) object { return processObject(p, s) })},
 	}
 }
--- a/io/proto/report/page.go
+++ b/io/proto/report/page.go
@@ -14,22 +14,25 @@
 	"camphorridge/core/state/model"
 )
 
-// The size of the page follows these bounds and not only the events.
+// Limits of the HTML page and sizes of its overview. They keep the size of the page
+// independent of the number of events.
 const (
-	// maxRows bounds the events shown one by one; the newest are kept. At
-	// about 300 bytes each the page stays near 6 MB.
+	// maxRows is the largest number of events on the page; the newest are kept. At
+	// about 300 bytes per event the page stays near 6 MB.
 	maxRows = 20_000
-	// groupRows is the number of events in one folded group.
+	// groupRows is the number of events in one group, which can be folded.
 	groupRows = 100
-	// The overview has one mark for all events of a process in one of
-	// overviewMarks equal spans of time.
+	// overviewMarks is the number of equal spans of time in the overview. All
+	// events of a process within one span share one mark.
 	overviewMarks = 500
-	markWidth     = 2
-	laneHeight    = 22
-	labelWidth    = 120
-	labelRunes    = 18
-	axisHeight    = 18
-	// axisTicks is the number of spans that the axis is divided in.
+	// Widths and heights are in units of the SVG view box, labelRunes is in
+	// characters.
+	markWidth  = 2
+	laneHeight = 22
+	labelWidth = 120
+	labelRunes = 18
+	axisHeight = 18
+	// axisTicks is the number of parts into which ticks divide the time axis.
 	axisTicks = 5
 )
 
@@ -38,7 +41,8 @@
 
 var pageTemplate = template.Must(template.New("page").Parse(pageText))
 
-// severity colours an event: calm, watch or bad.
+// severity returns the CSS class of an event, which sets its colour: calm, watch
+// or bad.
 func severity(k model.EventKind) string {
 	switch k {
 	case model.EventRefused, model.EventUnknown, model.EventEjected, model.EventUpstreamGone:
@@ -50,7 +54,7 @@
 	}
 }
 
-// pageData is what the template shows.
+// pageData is the input of the page template.
 type pageData struct {
 	Shown, Omitted int
 	First, Last    string
@@ -61,33 +65,38 @@
 	Groups         []pageGroup
 }
 
-// pageKind is a kind of event with its filter. Class is made of an index, as
-// the names of kinds may come from other processes.
+// pageKind is a kind of event, with the CSS class by which its rows are filtered.
+// Class is built from an index, because the names of kinds may come from other
+// processes and are not trusted.
 type pageKind struct {
 	Name, Class, Severity string
 	Count                 int
 }
 
+// pageLane is the row of one process in the overview.
 type pageLane struct {
-	// Label is the name, cut to fit the left margin.
+	// Label is the name, shortened to fit the left margin.
 	Name, Label string
 	TextY, Base int
 	Count       int
 	Marks       []pageMark
 }
 
+// pageMark stands for the events of a process within one span of time.
 type pageMark struct {
 	X, Y, Width, Height int
 	Severity, Title     string
-	// Group is the group that holds the first event of the mark.
+	// Group is the ID of the group that holds the first event of the mark.
 	Group int
 }
 
+// pageTick is a labelled position on the time axis.
 type pageTick struct {
 	X    int
 	Text string
 }
 
+// pageGroup is a table of up to groupRows events, which can be folded.
 type pageGroup struct {
 	ID          int
 	Open        bool
@@ -96,15 +105,17 @@
 	Rows        []pageRow
 }
 
+// pageRow is one event in the table of its group.
 type pageRow struct {
 	Time, Process, Kind, Class, Severity string
 	Subject, Limit, Detail               string
 }
 
-// page writes the HTML page of the time line.
-func page(w io.Writer, events []model.Event) error {
+// writePage writes the HTML page of the time line. It leaves out the oldest events
+// above maxRows.
+func writePage(w io.Writer, events []model.Event) error {
 	omitted := max(len(events)-maxRows, 0)
-	d := newPage(events[omitted:])
+	d := newPageData(events[omitted:])
 	d.Omitted = omitted
 	var b strings.Builder
 	if err := pageTemplate.Execute(&b, d); err != nil {
@@ -113,14 +124,16 @@
 	return write(w, "report time line", b.String())
 }
 
-func newPage(events []model.Event) pageData {
+// newPageData returns the input of the template for the events, which are in causal
+// order.
+func newPageData(events []model.Event) pageData {
 	d := pageData{Shown: len(events), Width: labelWidth + overviewMarks*markWidth}
 	if len(events) == 0 {
 		return d
 	}
 	first, last := events[0].Stamp.Wall, events[len(events)-1].Stamp.Wall
 	d.First, d.Last = timeText(first), timeText(last)
-	lanes := distinct(events, func(e model.Event) model.Process { return e.Process })
+	processes := distinct(events, func(e model.Event) model.Process { return e.Process })
 	kinds := distinct(events, func(e model.Event) model.EventKind { return e.Kind })
 	for i, k := range kinds {
 		d.Kinds = append(d.Kinds, pageKind{Name: string(k), Class: fmt.Sprintf("k%d", i), Severity: severity(k)})
@@ -129,21 +142,21 @@
 		i, _ := slices.BinarySearch(kinds, e.Kind)
 		d.Kinds[i].Count++
 	}
-	for i, p := range lanes {
-		d.Lanes = append(d.Lanes, laneOf(p, i, events, first, last))
+	for i, p := range processes {
+		d.Lanes = append(d.Lanes, newLane(p, i, events, first, last))
 	}
-	d.Height = len(lanes)*laneHeight + axisHeight
+	d.Height = len(processes)*laneHeight + axisHeight
 	for i := range axisTicks + 1 {
 		at := first + (last-first)*clock.Millis(i)/axisTicks
 		d.Ticks = append(d.Ticks, pageTick{X: labelWidth + i*overviewMarks*markWidth/axisTicks, Text: clockText(at)})
 	}
 	for from := 0; from < len(events); from += groupRows {
-		d.Groups = append(d.Groups, groupOf(from, events[from:min(from+groupRows, len(events))], kinds))
+		d.Groups = append(d.Groups, newGroup(from, events[from:min(from+groupRows, len(events))], kinds))
 	}
 	return d
 }
 
-// distinct returns the keys of the events in ascending order.
+// distinct returns the keys of the events, each once and in ascending order.
 func distinct[K cmp.Ordered](events []model.Event, key func(model.Event) K) []K {
 	seen := map[K]bool{}
 	for _, e := range events {
@@ -162,17 +175,18 @@
 	return time.UnixMilli(int64(m)).UTC().Format("15:04:05.000")
 }
 
-// markAt returns the mark of a time. It computes in floating point, as the
-// stamps of a faulty process may be so far apart that integers overflow.
-func markAt(at, first, last clock.Millis) int {
+// markIndex returns the index of the mark for a time. It uses floating point,
+// because the stamps of a faulty process may be so far apart that integers
+// overflow.
+func markIndex(at, first, last clock.Millis) int {
 	span := max(float64(last)-float64(first), 1)
 	return min(max(int((float64(at)-float64(first))/span*(overviewMarks-1)), 0), overviewMarks-1)
 }
 
-// laneOf puts the events of a process into the marks of its lane.
-func laneOf(p model.Process, index int, events []model.Event, first, last clock.Millis) pageLane {
+// newLane puts the events of a process into the marks of its lane.
+func newLane(p model.Process, index int, events []model.Event, first, last clock.Millis) pageLane {
 	l := pageLane{
-		Name: clean(string(p)), TextY: index*laneHeight + laneHeight*2/3, Base: (index+1)*laneHeight - 1,
+		Name: printable(string(p)), TextY: index*laneHeight + laneHeight*2/3, Base: (index+1)*laneHeight - 1,
 	}
 	l.Label = l.Name
 	if r := []rune(l.Name); len(r) > labelRunes {
@@ -185,82 +199,84 @@
 			continue
 		}
 		l.Count++
-		at := markAt(e.Stamp.Wall, first, last)
-		if len(spans[at]) == 0 {
-			groups[at] = i / groupRows
+		mark := markIndex(e.Stamp.Wall, first, last)
+		if len(spans[mark]) == 0 {
+			groups[mark] = i / groupRows
 		}
-		spans[at] = append(spans[at], e)
+		spans[mark] = append(spans[mark], e)
 	}
-	for at, in := range spans {
-		if len(in) == 0 {
+	for mark, inSpan := range spans {
+		if len(inSpan) == 0 {
 			continue
 		}
-		// One event has a mark of 6 units; the mark grows with the logarithm of
-		// the number, up to the height of the lane.
+		// The mark of one event is 6 units high. The height grows with the
+		// logarithm of the number of events, up to the height of the lane.
 		height := 6
-		for n := len(in); n > 1 && height < laneHeight-4; n /= 2 {
+		for n := len(inSpan); n > 1 && height < laneHeight-4; n /= 2 {
 			height += 2
 		}
 		l.Marks = append(l.Marks, pageMark{
-			X: labelWidth + at*markWidth, Y: l.Base - height, Width: markWidth, Height: height,
-			Severity: worst(in), Title: clockText(in[0].Stamp.Wall) + " " + tally(in), Group: groups[at],
+			X: labelWidth + mark*markWidth, Y: l.Base - height, Width: markWidth, Height: height,
+			Severity: worstSeverity(inSpan), Title: clockText(inSpan[0].Stamp.Wall) + " " + countsText(inSpan), Group: groups[mark],
 		})
 	}
 	return l
 }
 
-// worst returns the most severe of the events' severities.
-func worst(events []model.Event) string {
-	found := "calm"
+// worstSeverity returns the highest severity among the events.
+func worstSeverity(events []model.Event) string {
+	highest := "calm"
 	for _, e := range events {
 		switch s := severity(e.Kind); {
 		case s == "bad":
 			return s
 		case s == "watch":
-			found = s
+			highest = s
 		}
 	}
-	return found
+	return highest
 }
 
-// tally counts the events by kind.
-func tally(events []model.Event) string {
+// countsText returns the number of events of each kind, separated by commas.
+func countsText(events []model.Event) string {
 	counts := map[model.EventKind]int{}
 	for _, e := range events {
 		counts[e.Kind]++
 	}
 	var parts []string
 	for _, k := range distinct(events, func(e model.Event) model.EventKind { return e.Kind }) {
-		parts = append(parts, fmt.Sprintf("%d %s", counts[k], clean(string(k))))
+		parts = append(parts, fmt.Sprintf("%d %s", counts[k], printable(string(k))))
 	}
 	return strings.Join(parts, ", ")
 }
 
-func groupOf(from int, events []model.Event, kinds []model.EventKind) pageGroup {
+// newGroup returns the group of the given events, of which the first has the index
+// from on the page. kinds are the sorted kinds of all events of the page.
+func newGroup(from int, events []model.Event, kinds []model.EventKind) pageGroup {
 	g := pageGroup{
 		ID: from / groupRows, Open: from == 0,
 		First: timeText(events[0].Stamp.Wall), Last: clockText(events[len(events)-1].Stamp.Wall),
-		Summary: tally(events),
+		Summary: countsText(events),
 	}
 	for _, e := range events {
 		kind, _ := slices.BinarySearch(kinds, e.Kind)
 		g.Rows = append(g.Rows, pageRow{
-			Time: clockText(e.Stamp.Wall) + fmt.Sprintf("+%d", e.Stamp.Count), Process: clean(string(e.Process)),
-			Kind: clean(string(e.Kind)), Class: fmt.Sprintf("k%d", kind), Severity: severity(e.Kind),
-			Subject: subjectText(e), Limit: clean(e.Limit), Detail: clean(e.Detail),
+			Time: clockText(e.Stamp.Wall) + fmt.Sprintf("+%d", e.Stamp.Count), Process: printable(string(e.Process)),
+			Kind: printable(string(e.Kind)), Class: fmt.Sprintf("k%d", kind), Severity: severity(e.Kind),
+			Subject: subjectText(e), Limit: printable(e.Limit), Detail: printable(e.Detail),
 		})
 	}
 	return g
 }
 
-// subjectText lists the objects of an event.
+// subjectText returns the objects that an event concerns, as name=value pairs.
 func subjectText(e model.Event) string {
 	var parts []string
 	for _, p := range [][2]string{
 		{"customer", string(e.Customer)}, {"pool", string(e.Pool)}, {"instance", string(e.Instance)}, {"request", e.Request},
 	} {
 		if p[1] != "" {
-			parts = append(parts, p[0]+"="+clean(p[1]))
+			parts = append(parts, p[0]+"="+printable(p[1]))
 		}
 	}
 	if e.Version != 0 {
--- a/io/proto/report/report.go
+++ b/io/proto/report/report.go
@@ -8,17 +8,17 @@
 	"camphorridge/core/state/model"
 )
 
-// Status is what a control member knows.
+// Status is the state of the system as a control member sees it.
 type Status struct {
 	Member model.Process
-	// Leader is empty while none is known.
+	// Leader is the leader of the control group, or empty if Member knows none.
 	Leader model.Process
-	// Role is that of Member in the control group.
+	// Role is the role of Member in the control group.
 	Role    string
 	Term    uint64
 	Commit  model.Version
 	Version model.Version
-	// Now is the member's clock, to which ages refer.
+	// Now is the time of Member's clock, from which ages are computed.
 	Now         clock.Millis
 	Contracts   []model.Contract
 	Instances   []model.Instance
@@ -26,28 +26,31 @@
 	Processes   []ProcessStatus
 }
 
-// ProcessStatus is what the leader knows of an entry process.
+// ProcessStatus is the state of an entry process as the leader sees it.
 type ProcessStatus struct {
 	Name model.Process
 	Zone model.Zone
-	// Version is that of the table in force, and Since the time at which the
-	// leader first heard of it.
-	Version        model.Version
+	// Version is the version of the table that the process uses.
+	Version model.Version
+	// DrainedVersion is the version of the table up to which the process has
+	// carried out every release of an instance.
 	DrainedVersion model.Version
-	VersionSince   clock.Millis
-	// LastReportAt is the time of the last report; 0 for never.
+	// VersionSince is the time at which the leader first received a report of
+	// Version.
+	VersionSince clock.Millis
+	// LastReportAt is the time of the last report, or 0 if there was none.
 	LastReportAt clock.Millis
 	Incarnation  uint64
 }
 
-// Format is the form of a report.
+// Format is the output format of a report.
 type Format int
 
-// The formats.
+// Output formats.
 const (
 	FormatText Format = iota
 	FormatJSON
-	// FormatHTML is there for the time line alone.
+	// FormatHTML is available only for the time line.
 	FormatHTML
 )
 
@@ -61,32 +64,33 @@
 	return formatNames[f]
 }
 
-// ParseFormat returns the format of that name.
+// ParseFormat returns the format with the given name. It returns an *Error of
+// KindFormat for any other name.
 func ParseFormat(s string) (Format, error) {
 	for i, n := range formatNames {
 		if n == s {
 			return Format(i), nil
 		}
 	}
-	return 0, &Error{Op: "parse format", Kind: KindFormat, Err: fmt.Errorf("%q is not text, json or html", s)}
+	return 0, &Error{Op: "parse format", Kind: KindFormat, Err: fmt.Errorf("format is %q; allowed: text, json, html", s)}
 }
 
-// Kind tells the errors of the package apart.
+// Kind is the reason of an Error.
 type Kind int
 
-// The kinds of error.
+// Reasons of an Error.
 const (
-	// KindFormat: the report does not come in that format.
+	// KindFormat: the report cannot be written in the given format.
 	KindFormat Kind = iota
-	// KindNotFound: the object asked for does not exist.
+	// KindNotFound: the requested object does not exist.
 	KindNotFound
-	// KindDecode: the input is not a list of events in JSON.
+	// KindDecode: the input is not a valid JSON list of events.
 	KindDecode
 	// KindWrite: the output cannot be written.
 	KindWrite
 )
 
-// Error is the error type of the package.
+// Error is the error type that all functions of the package return.
 type Error struct {
 	Op   string
 	Kind Kind
@@ -99,7 +103,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// render writes a report in text or JSON.
+// render writes a report as text or JSON. op names the operation in errors. Only
+// the function for the given format is called.
 func render(w io.Writer, op string, f Format, text func() string, value func() any) error {
 	var out string
 	switch f {
@@ -107,11 +112,11 @@
 		out = text()
 	case FormatJSON:
 		var err error
-		if out, err = encode(value()); err != nil {
+		if out, err = encodeJSON(value()); err != nil {
 			return &Error{Op: op, Kind: KindFormat, Err: err}
 		}
 	default:
-		return &Error{Op: op, Kind: KindFormat, Err: fmt.Errorf("there is no %s form of this report", f)}
+		return &Error{Op: op, Kind: KindFormat, Err: fmt.Errorf("report is not available in format %s", f)}
 	}
 	return write(w, op, out)
 }
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -71,8 +71,8 @@
 	})
 }
 
-// shuffled returns the events in the order of the processes.
-func shuffled() []model.Event {
+// eventsByProcess returns the events sorted by process, not by time.
+func eventsByProcess() []model.Event {
 	out := events()
 	slices.SortStableFunc(out, func(a, b model.Event) int { return strings.Compare(string(a.Process), string(b.Process)) })
 	return out
@@ -129,7 +129,7 @@
 		},
 		"maintenance": func(w io.Writer, f report.Format) error { return report.Maintenance(w, f, s) },
 		"status":      func(w io.Writer, f report.Format) error { return report.Overview(w, f, s) },
-		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, shuffled()) },
+		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, eventsByProcess()) },
 		"customer":    explain(trail.ExplainCustomer(o, events(), "pruefkette")),
 		"instance":    explain(trail.ExplainInstance(o, events(), "i2")),
 		"request":     explain(trail.ExplainRequest(o, events(), "r-1")),
@@ -142,9 +142,9 @@
 	}
 }
 
-// TestReports guards against changes of the columns and keys that operators
-// and their scripts rely on, control characters that reach a terminal, and
-// JSON that is invalid or has null in place of a list.
+// TestReports checks that columns and keys stay as operators and their scripts rely
+// on them, that no control characters reach a terminal, and that JSON is valid and
+// has no null in place of a list.
 func TestReports(t *testing.T) {
 	for name, render := range renderers() {
 		t.Run(name, func(t *testing.T) {
@@ -163,8 +163,8 @@
 	}
 }
 
-// TestPage guards against text from callers and upstreams that becomes markup
-// and against resources from other hosts.
+// TestPage checks that text from callers and upstreams never becomes markup, and
+// that the page loads no resources from other hosts.
 func TestPage(t *testing.T) {
 	var b bytes.Buffer
 	assert.NilError(t, report.Timeline(&b, report.FormatHTML, events()))
@@ -177,7 +177,8 @@
 	golden.Assert(t, b.String(), "empty.html")
 }
 
-// TestPageIsBounded guards against a page that no browser opens.
+// TestPageIsBounded checks that many events do not make the page too large for a
+// browser.
 func TestPageIsBounded(t *testing.T) {
 	var many []model.Event
 	for i := range 25_000 {
@@ -194,8 +195,8 @@
 	t.Logf("%d bytes", b.Len())
 }
 
-// TestPageOfFaultyStamps guards against a process with a broken clock whose
-// events make the page fail for all.
+// TestPageOfFaultyStamps checks that events of a process with a broken clock do not
+// make the page fail for all processes.
 func TestPageOfFaultyStamps(t *testing.T) {
 	var faulty []model.Event
 	for _, wall := range []clock.Millis{math.MaxInt64, 0, math.MinInt64, start} {
@@ -206,7 +207,8 @@
 	assert.Equal(t, strings.Count(b.String(), "<tr class"), len(faulty))
 }
 
-// TestNotFound guards against an empty report for a misspelt customer.
+// TestNotFound checks that a misspelt customer or format is an error, not an empty
+// report.
 func TestNotFound(t *testing.T) {
 	err := report.Contract(io.Discard, report.FormatText, status(), "pomar")
 	var e *report.Error
@@ -215,7 +217,7 @@
 	assert.ErrorContains(t, err, "yaml")
 }
 
-// TestEventCodec guards against a field that one direction forgets.
+// TestEventCodec checks that encoding and decoding both handle every field.
 func TestEventCodec(t *testing.T) {
 	text := func(t *rapid.T, name string) string { return rapid.StringN(0, 8, -1).Draw(t, name) }
 	rapid.Check(t, func(t *rapid.T) {
@@ -236,8 +238,7 @@
 	})
 }
 
-// TestEventDecodeErrors guards against a damaged response that is taken for
-// events.
+// TestEventDecodeErrors checks that a damaged response is not taken for events.
 func TestEventDecodeErrors(t *testing.T) {
 	whole := `{"stamp-ms":1,"stamp-count":0,"process":"e1","seq":1,"kind":"wait","new-key":[]}`
 	events, err := report.EventsFromJSON([]byte("[" + whole + "]"))
--- a/io/proto/report/text.go
+++ b/io/proto/report/text.go
@@ -13,18 +13,18 @@
 
 // table is a text table with aligned columns.
 type table struct {
-	head []string
-	rows [][]string
+	header []string
+	rows   [][]string
 }
 
-func newTable(head ...string) *table { return &table{head: head} }
+func newTable(head ...string) *table { return &table{header: head} }
 
-// add appends a row. Empty cells are shown as "-", so that columns can be
-// split at white space.
+// add appends a row. An empty cell is shown as "-", so that columns can be split
+// at white space.
 func (t *table) add(cells ...any) {
 	row := make([]string, len(cells))
 	for i, c := range cells {
-		row[i] = clean(fmt.Sprint(c))
+		row[i] = printable(fmt.Sprint(c))
 		if row[i] == "" {
 			row[i] = "-"
 		}
@@ -34,14 +34,14 @@
 
 // String returns the table with two spaces between the columns.
 func (t *table) String() string {
-	width := make([]int, len(t.head))
-	for _, row := range append([][]string{t.head}, t.rows...) {
+	width := make([]int, len(t.header))
+	for _, row := range append([][]string{t.header}, t.rows...) {
 		for i, c := range row {
 			width[i] = max(width[i], utf8.RuneCountInString(c))
 		}
 	}
 	var b strings.Builder
-	for _, row := range append([][]string{t.head}, t.rows...) {
+	for _, row := range append([][]string{t.header}, t.rows...) {
 		var line strings.Builder
 		for i, c := range row {
 			line.WriteString(c)
@@ -53,9 +53,10 @@
 	return b.String()
 }
 
-// clean replaces control and other invisible characters, which could break lines or drive the
-// operator's terminal: some texts come from upstreams and callers.
-func clean(s string) string {
+// printable replaces control characters and other invisible characters with
+// U+FFFD. Some texts come from upstreams and callers, and such characters could
+// break lines or control the operator's terminal.
+func printable(s string) string {
 	return strings.Map(func(r rune) rune {
 		if !unicode.IsPrint(r) {
 			return '\uFFFD'
@@ -64,7 +65,7 @@
 	}, s)
 }
 
-// timeText returns a time in UTC; "never" for 0.
+// timeText returns a time in UTC, or "never" for 0.
 func timeText(m clock.Millis) string {
 	if m == 0 {
 		return "never"
@@ -72,7 +73,8 @@
 	return time.UnixMilli(int64(m)).UTC().Format("2006-01-02T15:04:05.000Z")
 }
 
-// spanText returns a duration in the largest unit that divides it.
+// spanText returns a duration in the largest unit that divides it without
+// remainder.
 func spanText(m clock.Millis) string {
 	for _, u := range []struct {
 		unit clock.Millis
@@ -85,7 +87,8 @@
 	return strconv.FormatInt(int64(m), 10) + "ms"
 }
 
-// ageText returns the time since then, rounded to 0.1 s; "never" for 0.
+// ageText returns the time from then to now, rounded to 0.1 s, or "never" if then
+// is 0.
 func ageText(now, then clock.Millis) string {
 	if then == 0 {
 		return "never"
--- a/io/proto/report/line.go
+++ b/io/proto/report/timeline.go
@@ -7,14 +7,14 @@
 	"camphorridge/core/state/trail"
 )
 
-// Timeline writes the events of all processes in their causal order.
+// Timeline writes the events of all processes, merged in causal order.
 func Timeline(w io.Writer, f Format, events []model.Event) error {
 	events = trail.Merge(events)
 	if f == FormatHTML {
-		return page(w, events)
+		return writePage(w, events)
 	}
 	return render(w, "report time line", f, func() string { return eventsTable(events).String() },
-		func() any { return object{{"events", list(events, eventObject)}} })
+		func() any { return object{{"events", mapObjects(events, eventObject)}} })
 }
 
 func eventsTable(events []model.Event) *table {
