--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -110,9 +110,9 @@
 	Listen     Listen
 	// Controls lists the control members, sorted by name. It contains this process.
 	Controls []model.Member
-	// GroupSize is the least number of members that the control group keeps,
-	// however many join it. If it is below the number of Controls, that number
-	// applies.
+	// GroupSize is the least number of members that the control group keeps: silent
+	// members are removed only while the group has more. If it is below the number
+	// of Controls, that number applies.
 	GroupSize int
 	// Entries lists the entry processes, sorted by name.
 	Entries []model.Member
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -85,6 +85,7 @@
 	}
 }
 
+// memberKey returns the key of one member in the list of the given section.
 func memberKey[T any](section, meaning string, field func(*T) *[]model.Member) Key[T] {
 	return Key[T]{
 		Section: section, Name: "member-" + namePlaceholder, Meaning: meaning,
@@ -128,10 +129,13 @@
 	}
 }
 
+// leaseKey returns the key of the lease of announcements, which both roles have.
 func leaseKey[T any](field func(*T) *clock.Millis) Key[T] {
 	return intKey("limits", "lease-ms", "ms", "3000", 100, clock.Minute, "lease of an announcement; equal in all processes", field)
 }
 
+// drainKey returns the key of the longest time of a graceful stop, which both
+// roles have.
 func drainKey[T any](field func(*T) *clock.Millis) Key[T] {
 	return intKey("limits", "drain-ms", "ms", "65000", 1, clock.Hour, "bound on a graceful stop; at least max-timeout-ms in an entry process", field)
 }
--- a/io/proto/report/text.go
+++ b/io/proto/report/text.go
@@ -17,7 +17,7 @@
 	rows   [][]string
 }
 
-func newTable(head ...string) *table { return &table{header: head} }
+func newTable(header ...string) *table { return &table{header: header} }
 
 // add appends a row. An empty cell is shown as "-", so that columns can be split
 // at white space.
