Rename exported names of io/trans/uplink and io/trans/front to usual terms

Link read as one connection though it holds those to all upstreams: Client. Front: Handler. Silent: Timeout; crossed: mismatched; share: pool. Settings name their unit or that they are a timeout.

--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -33,7 +33,7 @@
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return payload{whole: true}, nil
 	}
-	slow := time.AfterFunc(cfg.Body.Duration(), func() {
+	slow := time.AfterFunc(cfg.BodyReadTimeout.Duration(), func() {
 		_ = http.NewResponseController(w).SetReadDeadline(past)
 	})
 	n, err := io.ReadFull(r.Body, buf)
@@ -45,11 +45,11 @@
 	case err != nil:
 		return p, fail("body", KindBody, http.StatusBadRequest, "the body could not be read: %w", err)
 	case !intime:
-		return p, fail("body", KindBody, http.StatusBadRequest, "the body took longer than %d ms", cfg.Body)
+		return p, fail("body", KindBody, http.StatusBadRequest, "the body took longer than %d ms", cfg.BodyReadTimeout)
 	case int64(n) == r.ContentLength:
 		p.whole = true
 	default:
-		p.rest, p.limit = r.Body, cfg.MaxBody-int64(n)
+		p.rest, p.limit = r.Body, cfg.MaxBodyBytes-int64(n)
 	}
 	return p, nil
 }
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -15,13 +15,13 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// Front is the handler for callers.
-type Front[D Dispatcher, C Claimer] struct {
+// Handler is the HTTP handler for callers.
+type Handler[D Dispatcher, C Claimer] struct {
 	cfg          Settings
 	clk          clock.Clock
 	gate         D
 	claims       C
-	link         *uplink.Link
+	link         *uplink.Client
 	prefix       string
 	number       atomic.Uint64
 	small, large sync.Pool
@@ -29,15 +29,15 @@
 }
 
 // New returns a handler.
-func New[D Dispatcher, C Claimer](cfg Settings, clk clock.Clock, gate D, claims C, link *uplink.Link) *Front[D, C] {
+func New[D Dispatcher, C Claimer](cfg Settings, clk clock.Clock, gate D, claims C, link *uplink.Client) *Handler[D, C] {
 	var seed [6]byte
 	// Read never fails; see crypto/rand.
 	_, _ = rand.Read(seed[:])
-	f := &Front[D, C]{cfg: cfg, clk: clk, gate: gate, claims: claims, link: link}
+	f := &Handler[D, C]{cfg: cfg, clk: clk, gate: gate, claims: claims, link: link}
 	// The random part keeps the identities of two runs of a process apart.
 	f.prefix = string(cfg.Self) + "-" + hex.EncodeToString(seed[:]) + "-"
 	f.small.New = func() any { b := make([]byte, smallBuffer); return &b }
-	f.large.New = func() any { b := make([]byte, cfg.Buffer); return &b }
+	f.large.New = func() any { b := make([]byte, cfg.BufferBytes); return &b }
 	return f
 }
 
@@ -47,15 +47,15 @@
 
 // buffer returns a pooled buffer for a body of a declared length, below 0 for
 // none, with room for one byte more.
-func (f *Front[D, C]) buffer(length int64) *[]byte {
-	if length >= 0 && length < smallBuffer && f.cfg.Buffer >= smallBuffer {
+func (f *Handler[D, C]) buffer(length int64) *[]byte {
+	if length >= 0 && length < smallBuffer && f.cfg.BufferBytes >= smallBuffer {
 		return f.small.Get().(*[]byte)
 	}
 	return f.large.Get().(*[]byte)
 }
 
-func (f *Front[D, C]) release(b *[]byte) {
-	if len(*b) == f.cfg.Buffer {
+func (f *Handler[D, C]) release(b *[]byte) {
+	if len(*b) == f.cfg.BufferBytes {
 		f.large.Put(b)
 		return
 	}
@@ -63,7 +63,7 @@
 }
 
 // Counts returns the counters.
-func (f *Front[D, C]) Counts() Counts {
+func (f *Handler[D, C]) Counts() Counts {
 	c := &f.counts
 	return Counts{
 		Ran: c.ran.Load(), NotRun: c.notRun.Load(), Unknown: c.unknown.Load(),
@@ -87,7 +87,7 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (f *Front[D, C]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Handler[D, C]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := exchange{w: w, r: r, id: f.prefix + strconv.FormatUint(f.number.Add(1), 36)}
 	in, bad := parse(&f.cfg, r)
 	if bad != nil {
@@ -117,7 +117,7 @@
 }
 
 // runClaimed runs a request that carries an idempotency key.
-func (f *Front[D, C]) runClaimed(x *exchange) {
+func (f *Handler[D, C]) runClaimed(x *exchange) {
 	key := model.ClaimKey{Customer: x.in.customer, Service: x.in.service, Key: x.in.key}
 	answer, err := f.claims.Claim(x.ctx, key, x.id)
 	if err != nil {
@@ -151,7 +151,7 @@
 
 // run asks for grants and sends the request until it ran, its outcome is
 // unknown, or no further try is allowed.
-func (f *Front[D, C]) run(x *exchange) verdict {
+func (f *Handler[D, C]) run(x *exchange) verdict {
 	ask := entry.Request{Customer: x.in.customer, Pool: x.in.service, Deadline: x.deadline, ID: x.id}
 	reason := ""
 	for try := 1; ; try++ {
@@ -166,7 +166,7 @@
 			f.refuse(x, refusalStatus(refusal.Kind), refusal.Reason, refusal.RetryAfter)
 			return verdict{notRun: true}
 		}
-		t := f.send(x, grant, try < f.cfg.Tries)
+		t := f.send(x, grant, try < f.cfg.MaxAttempts)
 		if !t.again {
 			return t.verdict
 		}
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -61,7 +61,7 @@
 				r.Header.Set(HeaderTimeout, "100")
 			}
 			if key != "" {
-				r.Header.Set(HeaderKey, key)
+				r.Header.Set(HeaderIdempotencyKey, key)
 			}
 			resp, _ := g.do(t, r)
 			assert.Equal(t, resp.StatusCode, c.status, c.name)
@@ -124,8 +124,8 @@
 		{"bad service", func(r *http.Request) { r.URL.Path = "/../x" }, 400},
 		{"bad timeout", func(r *http.Request) { r.Header.Set(HeaderTimeout, "-1") }, 400},
 		{"zero timeout", func(r *http.Request) { r.Header.Set(HeaderTimeout, "0") }, 400},
-		{"empty key", func(r *http.Request) { r.Header.Set(HeaderKey, "") }, 400},
-		{"long key", func(r *http.Request) { r.Header.Set(HeaderKey, strings.Repeat("k", 256)) }, 400},
+		{"empty key", func(r *http.Request) { r.Header.Set(HeaderIdempotencyKey, "") }, 400},
+		{"long key", func(r *http.Request) { r.Header.Set(HeaderIdempotencyKey, strings.Repeat("k", 256)) }, 400},
 		{"large header", func(r *http.Request) { r.Header.Set("X-Large", strings.Repeat("h", 33<<10)) }, 431},
 		{"large body", func(r *http.Request) { r.ContentLength, r.Body = 65<<20, io.NopCloser(bytes.NewReader(nil)) }, 413},
 	} {
@@ -192,7 +192,7 @@
 	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	_, got := g.do(t, g.request(t, "GET", "acme", ""))
 	assert.Assert(t, got == body)
-	r := g.request(t, "POST", "acme", "x", HeaderKey, "k1")
+	r := g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1")
 	r.URL.Path = "/svc/cut"
 	resp, err := g.client.Do(r)
 	assert.NilError(t, err)
@@ -211,18 +211,18 @@
 // Guards against running a keyed request twice.
 func TestDuplicates(t *testing.T) {
 	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
-	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderKey, "k1"))
+	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, first.Header.Get(HeaderOutcome), OutcomeRan)
-	second, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderKey, "k1"))
+	second, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, second.StatusCode, 409)
 	assert.Equal(t, second.Header.Get(HeaderOutcome), OutcomeDuplicate)
 	assert.Equal(t, second.Header.Get(HeaderFirstOutcome), "done 200")
-	get, _ := g.do(t, g.request(t, "GET", "acme", "", HeaderKey, "k1"))
+	get, _ := g.do(t, g.request(t, "GET", "acme", "", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, get.Header.Get(HeaderOutcome), OutcomeRan)
 	g.claims.mu.Lock()
 	g.claims.err = errors.New("no quorum")
 	g.claims.mu.Unlock()
-	cut, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderKey, "k2"))
+	cut, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k2"))
 	assert.Equal(t, cut.StatusCode, 503)
 	assert.Equal(t, cut.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
@@ -275,7 +275,7 @@
 // Guards against callers that send slowly and hold a slot or a goroutine.
 func TestSlowBodyIsCutOff(t *testing.T) {
 	g := newRig(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
-	g.front.cfg.Body = 50
+	g.front.cfg.BodyReadTimeout = 50
 	c, err := net.Dial("tcp", g.url[len("http://"):])
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
--- a/io/trans/front/parse.go
+++ b/io/trans/front/parse.go
@@ -26,11 +26,11 @@
 	if r.Method == http.MethodConnect {
 		return in, bad("method %s is not supported", r.Method)
 	}
-	if headerSize(r.Header) > cfg.MaxHeader {
-		return in, fail("parse", KindRequest, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than %d bytes", cfg.MaxHeader)
+	if headerSize(r.Header) > cfg.MaxHeaderBytes {
+		return in, fail("parse", KindRequest, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than %d bytes", cfg.MaxHeaderBytes)
 	}
-	if r.ContentLength > cfg.MaxBody {
-		return in, fail("parse", KindRequest, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", cfg.MaxBody)
+	if r.ContentLength > cfg.MaxBodyBytes {
+		return in, fail("parse", KindRequest, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", cfg.MaxBodyBytes)
 	}
 	path, found := strings.CutPrefix(r.URL.Path, "/")
 	service, _, slash := strings.Cut(path, "/")
@@ -55,7 +55,7 @@
 
 func parseTimeout(cfg *Settings, values []string) (clock.Millis, *Error) {
 	if len(values) == 0 {
-		return cfg.Timeout, nil
+		return cfg.DefaultTimeout, nil
 	}
 	n, err := strconv.ParseUint(values[0], 10, 31)
 	if err != nil || n == 0 || len(values) > 1 {
@@ -66,12 +66,12 @@
 
 // parseKey returns the idempotency key when the method makes it count.
 func parseKey(r *http.Request) (string, *Error) {
-	keys := r.Header[HeaderKey]
+	keys := r.Header[HeaderIdempotencyKey]
 	if len(keys) == 0 {
 		return "", nil
 	}
 	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKey {
-		return "", bad("%s must be given once, with 1 to %d bytes", HeaderKey, maxKey)
+		return "", bad("%s must be given once, with 1 to %d bytes", HeaderIdempotencyKey, maxKey)
 	}
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
--- a/io/trans/front/reply.go
+++ b/io/trans/front/reply.go
@@ -21,7 +21,7 @@
 }
 
 // deliver passes a whole response on.
-func (f *Front[D, C]) deliver(x *exchange, r *held, outcome string) verdict {
+func (f *Handler[D, C]) deliver(x *exchange, r *held, outcome string) verdict {
 	h := x.w.Header()
 	copyHeader(h, r.header)
 	h[HeaderOutcome] = []string{outcome}
@@ -51,7 +51,7 @@
 }
 
 // refuse answers a request that did not run.
-func (f *Front[D, C]) refuse(x *exchange, status int, reason string, after clock.Millis) {
+func (f *Handler[D, C]) refuse(x *exchange, status int, reason string, after clock.Millis) {
 	f.counts.notRun.Add(1)
 	if after > 0 {
 		x.w.Header().Set("Retry-After", strconv.FormatInt(retryAfter(after), 10))
@@ -61,17 +61,17 @@
 
 // unknown answers a request of which bytes were written and no whole response
 // came back.
-func (f *Front[D, C]) unknown(x *exchange, k uplink.Kind) {
+func (f *Handler[D, C]) unknown(x *exchange, k uplink.Kind) {
 	f.counts.unknown.Add(1)
 	status := http.StatusBadGateway
-	if k == uplink.KindSilent {
+	if k == uplink.KindTimeout {
 		status = http.StatusGatewayTimeout
 	}
 	f.reply(x, status, OutcomeUnknown, k.String())
 }
 
 // duplicate answers a request whose key was claimed before.
-func (f *Front[D, C]) duplicate(x *exchange, a model.ClaimAnswer) {
+func (f *Handler[D, C]) duplicate(x *exchange, a model.ClaimAnswer) {
 	f.counts.duplicate.Add(1)
 	first := OutcomeUnknown
 	switch a.FirstState {
@@ -86,7 +86,7 @@
 }
 
 // reply writes a response of the front end's own.
-func (f *Front[D, C]) reply(x *exchange, status int, outcome, reason string) {
+func (f *Handler[D, C]) reply(x *exchange, status int, outcome, reason string) {
 	h := x.w.Header()
 	h.Set(HeaderOutcome, outcome)
 	h.Set(HeaderReason, reason)
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -55,9 +55,9 @@
 // rig is an entry process without its neighbours and control.
 type rig struct {
 	gate   *dispatcher
-	link   *uplink.Link
+	link   *uplink.Client
 	claims *claims
-	front  *Front[*dispatcher, *claims]
+	front  *Handler[*dispatcher, *claims]
 	url    string
 	client *http.Client
 }
@@ -102,7 +102,7 @@
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	srv := NewServer(g.front, g.front.cfg.MaxHeader)
+	srv := NewServer(g.front, g.front.cfg.MaxHeaderBytes)
 	go func() { _ = srv.Serve(l) }()
 	renew := time.NewTicker(time.Second)
 	stop := make(chan struct{})
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -22,13 +22,13 @@
 
 // send makes one try under a grant and gives the grant back as soon as the
 // upstream has nothing more to do with it.
-func (f *Front[D, C]) send(x *exchange, g entry.Grant, mayRetry bool) tried {
+func (f *Handler[D, C]) send(x *exchange, g entry.Grant, mayRetry bool) tried {
 	begun := f.clk.Now()
 	body := &outbound{head: x.body.head, rest: x.body.rest, limit: x.body.limit}
 	end := func(o entry.Outcome) { f.gate.Done(g.Ticket, o, f.clk.Now()-begun) }
 	up := uplink.Upstream{
-		Name: string(g.Upstream.Instance), Until: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
-		Connections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
+		Name: string(g.Upstream.Instance), WriteDeadline: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
+		MaxConnections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
 	}
 	if g.Upstream.LoanName != "" {
 		up.Name = g.Upstream.LoanName
@@ -53,7 +53,7 @@
 
 // receive takes the response in, whole when it fits the buffer, and passes it
 // on.
-func (f *Front[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *outbound, end func(entry.Outcome), mayRetry bool) tried {
+func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *outbound, end func(entry.Outcome), mayRetry bool) tried {
 	buf := f.buffer(resp.ContentLength)
 	defer f.release(buf)
 	n, err := 0, error(io.EOF)
@@ -104,7 +104,7 @@
 
 // stream passes on a response that is larger than the buffer. A response that
 // ends early aborts the caller's connection, so that the caller sees it.
-func (f *Front[D, C]) stream(x *exchange, resp *http.Response, notRun bool, first []byte, body *outbound, end func(entry.Outcome)) tried {
+func (f *Handler[D, C]) stream(x *exchange, resp *http.Response, notRun bool, first []byte, body *outbound, end func(entry.Outcome)) tried {
 	outcome := entry.OutcomeUnknown
 	defer func() {
 		body.detach()
@@ -168,18 +168,18 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) || res.Kind == uplink.KindCancelled:
 		return entry.OutcomeCancelled
-	case res.Kind == uplink.KindShare:
+	case res.Kind == uplink.KindPoolFull:
 		return entry.OutcomeBusy
 	case res.NotRun:
 		return entry.OutcomeConnect
-	case res.Kind == uplink.KindSilent:
+	case res.Kind == uplink.KindTimeout:
 		return entry.OutcomeTimeout
 	}
 	return entry.OutcomeUnknown
 }
 
 // outgoing builds the request of one try.
-func (f *Front[D, C]) outgoing(x *exchange, body *outbound) *http.Request {
+func (f *Handler[D, C]) outgoing(x *exchange, body *outbound) *http.Request {
 	out := &http.Request{
 		Method: x.r.Method, URL: x.r.URL, Header: x.r.Header, Host: x.r.Host,
 		ContentLength: x.body.size,
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -12,13 +12,13 @@
 
 // The headers of the front end.
 const (
-	HeaderCustomer     = "Camphorridge-Customer"
-	HeaderTimeout      = "Camphorridge-Timeout-Ms"
-	HeaderKey          = "Idempotency-Key"
-	HeaderOutcome      = uplink.HeaderOutcome
-	HeaderRequestID    = uplink.HeaderRequestID
-	HeaderFirstOutcome = "Camphorridge-First-Outcome"
-	HeaderReason       = "Camphorridge-Reason"
+	HeaderCustomer       = "Camphorridge-Customer"
+	HeaderTimeout        = "Camphorridge-Timeout-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderOutcome        = uplink.HeaderOutcome
+	HeaderRequestID      = uplink.HeaderRequestID
+	HeaderFirstOutcome   = "Camphorridge-First-Outcome"
+	HeaderReason         = "Camphorridge-Reason"
 )
 
 // The values of HeaderOutcome.
@@ -80,29 +80,29 @@
 type Settings struct {
 	Self model.Process
 	// Timeout is the default of HeaderTimeout and MaxTimeout its bound.
-	Timeout, MaxTimeout clock.Millis
+	DefaultTimeout, MaxTimeout clock.Millis
 	// Buffer is the size up to which bodies are held as a whole, both ways.
-	Buffer int
+	BufferBytes int
 	// MaxBody bounds the body of a request, and MaxHeader its header.
-	MaxBody   int64
-	MaxHeader int
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
 	// Body bounds the reading of the buffered part of a request.
-	Body clock.Millis
+	BodyReadTimeout clock.Millis
 	// Tries bounds the tries of one request, the first included.
-	Tries int
+	MaxAttempts int
 }
 
 // Defaults returns the settings of the design page.
 func Defaults(self model.Process) Settings {
 	return Settings{
-		Self:       self,
-		Timeout:    5 * clock.Second,
-		MaxTimeout: clock.Minute,
-		Buffer:     64 << 10,
-		MaxBody:    64 << 20,
-		MaxHeader:  32 << 10,
-		Body:       10 * clock.Second,
-		Tries:      3,
+		Self:            self,
+		DefaultTimeout:  5 * clock.Second,
+		MaxTimeout:      clock.Minute,
+		BufferBytes:     64 << 10,
+		MaxBodyBytes:    64 << 20,
+		MaxHeaderBytes:  32 << 10,
+		BodyReadTimeout: 10 * clock.Second,
+		MaxAttempts:     3,
 	}
 }
 
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -58,10 +58,10 @@
 	reporter *follow.Reporter[*peers.Leader]
 	roster   *roster.Forwarder[*peers.Client]
 	claimer  *claim.Claimer[*peers.Leader]
-	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Link]
-	link     *uplink.Link
+	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
+	link     *uplink.Client
 	timed    *timed
-	front    *front.Front[*timed, *claim.Claimer[*peers.Leader]]
+	front    *front.Handler[*timed, *claim.Claimer[*peers.Leader]]
 	events   *ring.Ring[model.Event]
 	leaving  atomic.Bool
 }
@@ -128,11 +128,11 @@
 
 func frontSettings(cfg conf.Entry) front.Settings {
 	s := front.Defaults(cfg.Name)
-	s.Timeout = cfg.Limits.DefaultTimeoutMillis
+	s.DefaultTimeout = cfg.Limits.DefaultTimeoutMillis
 	s.MaxTimeout = cfg.Limits.MaxTimeoutMillis
-	s.MaxBody = cfg.Limits.MaxBodyBytes
-	s.MaxHeader = cfg.Limits.MaxHeaderBytes
-	s.Body = cfg.Limits.BodyReadMillis
+	s.MaxBodyBytes = cfg.Limits.MaxBodyBytes
+	s.MaxHeaderBytes = cfg.Limits.MaxHeaderBytes
+	s.BodyReadTimeout = cfg.Limits.BodyReadMillis
 	return s
 }
 
@@ -304,8 +304,8 @@
 		{"loans-not-sent", e.lender.Refused},
 		{"connections-opened", func() int64 { return e.link.Counts().Opened }},
 		{"connections-closed", func() int64 { return e.link.Counts().Closed }},
-		{"connections-silent", func() int64 { return e.link.Counts().Silent }},
-		{"responses-crossed", func() int64 { return e.link.Counts().Crossed }},
+		{"connections-silent", func() int64 { return e.link.Counts().TimedOut }},
+		{"responses-crossed", func() int64 { return e.link.Counts().Mismatched }},
 		{"responses-without-end", func() int64 { return e.link.Counts().Framing }},
 		{"probes-failed", func() int64 { return e.link.Counts().ProbesFailed }},
 		{"claims-refused", e.claimer.Refused},
--- a/io/trans/uplink/body.go
+++ b/io/trans/uplink/body.go
@@ -13,7 +13,7 @@
 type body struct {
 	inner io.ReadCloser
 	conn  *conn
-	link  *Link
+	link  *Client
 	ctx   context.Context
 	begun clock.Millis
 	// ended says that the connection was settled or closed.
--- a/io/trans/uplink/keep.go
+++ b/io/trans/uplink/keep.go
@@ -13,7 +13,7 @@
 
 // Run is the duty that probes and closes idle connections; it returns after
 // Stop.
-func (l *Link) Run() error {
+func (l *Client) Run() error {
 	for {
 		select {
 		case <-l.clk.After(keepEvery):
@@ -29,14 +29,14 @@
 
 // Stop ends the duty and closes the idle connections. Requests in flight go
 // on.
-func (l *Link) Stop() {
+func (l *Client) Stop() {
 	l.stop.Do(func() { close(l.done) })
 	for _, p := range l.list() {
 		p.closeIdle(l.clk.Now())
 	}
 }
 
-func (l *Link) list() []*pool {
+func (l *Client) list() []*pool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	out := make([]*pool, 0, len(l.pools))
@@ -50,7 +50,7 @@
 // upstream without connections is dropped.
 const forgetAfter = clock.Minute
 
-func (l *Link) forget() {
+func (l *Client) forget() {
 	now := l.clk.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -65,16 +65,16 @@
 }
 
 // keep closes what was not used for long, and probes what was idle.
-func (l *Link) keep(p *pool) {
+func (l *Client) keep(p *pool) {
 	now := l.clk.Now()
 	var old, due []*conn
 	p.mu.Lock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		switch {
-		case now-c.used >= l.cfg.CloseAfter:
+		case now-c.used >= l.cfg.IdleTimeout:
 			old = append(old, c)
-		case p.up.HealthPath != "" && now-c.alive >= l.cfg.ProbeAfter:
+		case p.up.HealthPath != "" && now-c.alive >= l.cfg.ProbeAfterIdle:
 			c.probing = true
 			due = append(due, c)
 		default:
@@ -95,10 +95,10 @@
 
 // probe asks for the health path on an idle connection. Any whole response
 // shows that the connection works.
-func (l *Link) probe(p *pool, c *conn, up Upstream) {
+func (l *Client) probe(p *pool, c *conn, up Upstream) {
 	l.counts.probes.Add(1)
 	begun := l.clk.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), l.cfg.Probe.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), l.cfg.ProbeTimeout.Duration())
 	defer cancel()
 	if c.begin() && l.answers(ctx, c, up) {
 		c.finished()
@@ -110,7 +110,7 @@
 	l.counts.silentClosed.Add(int64(p.closeIdle(begun)))
 }
 
-func (l *Link) answers(ctx context.Context, c *conn, up Upstream) bool {
+func (l *Client) answers(ctx context.Context, c *conn, up Upstream) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+up.Address+up.HealthPath, nil)
 	if err != nil {
 		return false
@@ -123,6 +123,6 @@
 	if check(req, resp, &c.echoes) != nil {
 		return false
 	}
-	_, err = io.CopyN(io.Discard, resp.Body, l.cfg.ResponseHeader)
+	_, err = io.CopyN(io.Discard, resp.Body, l.cfg.MaxResponseHeaderBytes)
 	return err == io.EOF
 }
--- a/io/trans/uplink/link.go
+++ b/io/trans/uplink/link.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/clock"
 )
 
-// Link is the connections to all upstreams.
-type Link struct {
+// Client holds the connections to all upstreams.
+type Client struct {
 	cfg    Settings
 	clk    clock.Clock
 	counts counters
@@ -21,9 +21,9 @@
 	stop   sync.Once
 }
 
-// New returns a link without connections.
-func New(cfg Settings, clk clock.Clock) *Link {
-	return &Link{cfg: cfg, clk: clk, pools: map[string]*pool{}, done: make(chan struct{})}
+// New returns a client without connections.
+func New(cfg Settings, clk clock.Clock) *Client {
+	return &Client{cfg: cfg, clk: clk, pools: map[string]*pool{}, done: make(chan struct{})}
 }
 
 // Do sends a request to an upstream, at most once, and returns its response.
@@ -33,7 +33,7 @@
 // When a connection used before turns out to be closed and no byte was
 // written, a fresh one is tried once, for requests without a body or with
 // GetBody.
-func (l *Link) Do(ctx context.Context, up Upstream, req *http.Request) (*http.Response, Result, error) {
+func (l *Client) Do(ctx context.Context, up Upstream, req *http.Request) (*http.Response, Result, error) {
 	l.counts.requests.Add(1)
 	p := l.pool(up.Name)
 	replay := req.Body == nil || req.Body == http.NoBody || req.GetBody != nil
@@ -54,7 +54,7 @@
 	return l.try(ctx, p, up, again, true)
 }
 
-func (l *Link) pool(name string) *pool {
+func (l *Client) pool(name string) *pool {
 	l.mu.RLock()
 	p := l.pools[name]
 	l.mu.RUnlock()
@@ -71,7 +71,7 @@
 }
 
 // try sends a request on one connection.
-func (l *Link) try(ctx context.Context, p *pool, up Upstream, req *http.Request, fresh bool) (*http.Response, Result, error) {
+func (l *Client) try(ctx context.Context, p *pool, up Upstream, req *http.Request, fresh bool) (*http.Response, Result, error) {
 	begun := l.clk.Now()
 	c, err := p.take(ctx, up, fresh)
 	if err != nil {
@@ -81,8 +81,8 @@
 		}
 		return nil, Result{NotRun: true, Kind: kind}, err
 	}
-	if up.Until != 0 {
-		c.until(func() bool { return l.clk.Now() >= up.Until })
+	if up.WriteDeadline != 0 {
+		c.until(func() bool { return l.clk.Now() >= up.WriteDeadline })
 	}
 	res := Result{Reused: c.requests > 0}
 	c.requests++
@@ -116,23 +116,23 @@
 // failure classifies a failed request. A request that was silent until its
 // deadline closes the connections that were idle since before it, because a
 // middlebox that forgot one connection has often forgotten them all.
-func (l *Link) failure(ctx context.Context, p *pool, begun clock.Millis, written bool) Kind {
+func (l *Client) failure(ctx context.Context, p *pool, begun clock.Millis, written bool) Kind {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		if written {
 			l.counts.silent.Add(1)
 			l.counts.silentClosed.Add(int64(p.closeIdle(begun)))
 		}
-		return KindSilent
+		return KindTimeout
 	case ctx.Err() != nil:
 		return KindCancelled
 	}
 	return KindClosed
 }
 
-func (l *Link) count(k Kind) {
+func (l *Client) count(k Kind) {
 	switch k {
-	case KindCrossed:
+	case KindMismatched:
 		l.counts.crossed.Add(1)
 	case KindFraming:
 		l.counts.framing.Add(1)
@@ -149,7 +149,7 @@
 	}
 	id, echo := req.Header.Get(HeaderRequestID), resp.Header.Get(HeaderRequestID)
 	if id != "" && echo != id && (echo != "" || *echoes) {
-		return fail("response", KindCrossed, "it answers request %q, not %q", echo, id)
+		return fail("response", KindMismatched, "it answers request %q, not %q", echo, id)
 	}
 	*echoes = *echoes || echo != ""
 	bodyless := req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
@@ -190,7 +190,7 @@
 
 // Close closes the idle connections of an upstream for which no request is
 // under way, and reports whether none is left open.
-func (l *Link) Close(name string) bool {
+func (l *Client) Close(name string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.pools[name]
@@ -209,18 +209,18 @@
 }
 
 // Counts returns the counters.
-func (l *Link) Counts() Counts {
+func (l *Client) Counts() Counts {
 	c := &l.counts
 	return Counts{
 		Requests: c.requests.Load(), Opened: c.opened.Load(), Closed: c.closed.Load(),
-		ConnectFailed: c.connectFailed.Load(), Silent: c.silent.Load(), Crossed: c.crossed.Load(),
+		ConnectFailed: c.connectFailed.Load(), TimedOut: c.silent.Load(), Mismatched: c.crossed.Load(),
 		Unsolicited: c.unsolicited.Load(), Framing: c.framing.Load(), Probes: c.probes.Load(),
-		ProbesFailed: c.probesFailed.Load(), SilentClosed: c.silentClosed.Load(),
+		ProbesFailed: c.probesFailed.Load(), ClosedAsUnresponsive: c.silentClosed.Load(),
 	}
 }
 
 // Open returns the number of open connections to an upstream.
-func (l *Link) Open(name string) int {
+func (l *Client) OpenConnections(name string) int {
 	l.mu.RLock()
 	p := l.pools[name]
 	l.mu.RUnlock()
--- a/io/trans/uplink/link_test.go
+++ b/io/trans/uplink/link_test.go
@@ -27,7 +27,7 @@
 	}{
 		{"no length", "HTTP/1.1 200 OK\r\n\r\nbody", KindFraming},
 		{"old protocol", "HTTP/1.0 200 OK\r\n\r\nbody", KindFraming},
-		{"other identity", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: other\r\n\r\n", KindCrossed},
+		{"other identity", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: other\r\n\r\n", KindMismatched},
 		{"upgrade", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", KindFraming},
 		{"not HTTP", "nonsense\r\n\r\n", KindClosed},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", KindClosed},
@@ -47,7 +47,7 @@
 		assert.Equal(t, e.Kind, c.kind, c.name)
 		assert.Assert(t, res.BytesWritten && !res.NotRun, c.name)
 		assert.Equal(t, u.seen("<a>"), 1, c.name)
-		poll.WaitOn(t, func(poll.LogT) poll.Result { return until(l.Open("ia") == 0) })
+		poll.WaitOn(t, func(poll.LogT) poll.Result { return until(l.OpenConnections("ia") == 0) })
 	}
 }
 
@@ -102,7 +102,7 @@
 	}))
 	l := newLink(t)
 	_, res, err := call(t, l, u.upstream(), request(t, "POST", "<slow>", "x"), 20*time.Millisecond)
-	assert.Assert(t, err != nil && res.Kind == KindSilent && !res.NotRun)
+	assert.Assert(t, err != nil && res.Kind == KindTimeout && !res.NotRun)
 	close(release)
 	body, _, err := call(t, l, u.upstream(), request(t, "POST", "<next>", "x"), long)
 	assert.NilError(t, err)
@@ -132,14 +132,14 @@
 	r.silence()
 	_, res, err := call(t, l, up, request(t, "GET", "<silent>", ""), 100*time.Millisecond)
 	assert.Assert(t, err != nil)
-	assert.Equal(t, res.Kind, KindSilent)
+	assert.Equal(t, res.Kind, KindTimeout)
 	assert.Equal(t, idle(l), 0)
 	_, res, err = call(t, l, up, request(t, "GET", "<new>", ""), long)
 	assert.NilError(t, err)
 	assert.Assert(t, !res.Reused)
 }
 
-func idle(l *Link) int {
+func idle(l *Client) int {
 	p := l.pool("ia")
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -154,14 +154,14 @@
 	}))
 	l := newLink(t)
 	up := u.upstream()
-	up.Connections = 4
+	up.MaxConnections = 4
 	var wg sync.WaitGroup
 	for w := range 32 {
 		wg.Go(func() {
 			for k := range 20 {
 				_, res, err := call(t, l, up, request(t, "GET", fmt.Sprint(w, k), ""), long)
 				if err != nil {
-					assert.Check(t, res.NotRun && res.Kind == KindShare, "%v", err)
+					assert.Check(t, res.NotRun && res.Kind == KindPoolFull, "%v", err)
 				}
 			}
 		})
@@ -188,7 +188,7 @@
 	rel := newRelay(t, u.l.Addr().String())
 	fake := clock.NewFake(1000)
 	l := New(Defaults(), fake.Clock())
-	l.cfg.Probe = 200
+	l.cfg.ProbeTimeout = 200
 	t.Cleanup(l.Stop)
 	up := u.upstream()
 	up.Address, up.HealthPath = rel.l.Addr().String(), "/health"
@@ -211,14 +211,14 @@
 	mu.Unlock()
 	fake.Advance(1001)
 	l.keep(l.pool("ia"))
-	assert.Equal(t, l.Open("ia"), 0)
+	assert.Equal(t, l.OpenConnections("ia"), 0)
 
 	open()
 	rel.silence()
 	fake.Advance(clock.Second)
 	l.keep(l.pool("ia"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result { return until(l.Counts().ProbesFailed == 1) })
-	assert.Equal(t, l.Open("ia"), 0)
+	assert.Equal(t, l.OpenConnections("ia"), 0)
 	fake.Advance(forgetAfter)
 	l.forget()
 	assert.Equal(t, len(l.list()), 0)
@@ -271,7 +271,7 @@
 	cancel()
 	res := <-ended
 	assert.Assert(t, res.Kind == KindCancelled && !res.NotRun)
-	assert.Equal(t, l.Open("ia"), 1)
+	assert.Equal(t, l.OpenConnections("ia"), 1)
 }
 
 // Guards against a request that is written after the time of its loan, and
@@ -280,16 +280,16 @@
 	u := newRaw(t, answers(func(_ int, c net.Conn, r *http.Request) bool { return ok(c, r) }))
 	l := newLink(t)
 	up := u.upstream()
-	up.Until = clock.Real().Now() + clock.Hour
+	up.WriteDeadline = clock.Real().Now() + clock.Hour
 	_, _, err := call(t, l, up, request(t, "POST", "<a>", "x"), long)
 	assert.NilError(t, err)
-	up.Until = clock.Real().Now()
+	up.WriteDeadline = clock.Real().Now()
 	_, res, err := call(t, l, up, request(t, "POST", "<late>", "x"), long)
 	assert.Assert(t, err != nil && res.NotRun, "%+v", res)
 	assert.Equal(t, u.seen("<late>"), 0)
-	up.Until = 0
+	up.WriteDeadline = 0
 	_, _, err = call(t, l, up, request(t, "POST", "<b>", "x"), long)
 	assert.NilError(t, err)
 	poll.WaitOn(t, func(poll.LogT) poll.Result { return until(l.Close("ia")) })
-	assert.Equal(t, l.Open("ia"), 0)
+	assert.Equal(t, l.OpenConnections("ia"), 0)
 }
--- a/io/trans/uplink/once_test.go
+++ b/io/trans/uplink/once_test.go
@@ -116,7 +116,7 @@
 	}))
 	l := newLink(t)
 	up := u.upstream()
-	up.Connections = 64
+	up.MaxConnections = 64
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	notRun := map[string]bool{}
@@ -164,7 +164,7 @@
 	var e *Error
 	assert.Assert(t, errors.As(err, &e) && e.Kind == KindConnect)
 	assert.Assert(t, res.NotRun && !res.BytesWritten)
-	assert.Equal(t, l.Open("ib"), 0)
+	assert.Equal(t, l.OpenConnections("ib"), 0)
 }
 
 // Guards against a request of an earlier incarnation on a connection to the
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -89,7 +89,7 @@
 			}
 			return p.dial(ctx, up)
 		case stepFull:
-			return nil, fail("take", KindShare, "all %d connections to %s are in use", up.Connections, up.Name)
+			return nil, fail("take", KindPoolFull, "all %d connections to %s are in use", up.MaxConnections, up.Name)
 		case stepWait:
 			select {
 			case <-p.changed:
@@ -116,7 +116,7 @@
 	switch {
 	case p.settling > 0 && !fresh && mayWait:
 		return nil, stepWait
-	case p.open < p.up.Connections:
+	case p.open < p.up.MaxConnections:
 		p.open++
 		return nil, stepOpen
 	case fresh && len(p.idle) > 0:
@@ -180,7 +180,7 @@
 
 // dial opens a connection that was counted before.
 func (p *pool) dial(ctx context.Context, up Upstream) (*conn, error) {
-	d := net.Dialer{Timeout: p.cfg.Connect.Duration()}
+	d := net.Dialer{Timeout: p.cfg.ConnectTimeout.Duration()}
 	raw, err := d.DialContext(ctx, "tcp", up.Address)
 	if err != nil {
 		p.unreserve()
@@ -214,7 +214,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        1,
 		MaxIdleConnsPerHost:    1,
-		MaxResponseHeaderBytes: cfg.ResponseHeader,
+		MaxResponseHeaderBytes: cfg.MaxResponseHeaderBytes,
 	}
 }
 
--- a/io/trans/uplink/rig_test.go
+++ b/io/trans/uplink/rig_test.go
@@ -99,7 +99,7 @@
 }
 
 func (u *raw) upstream() Upstream {
-	return Upstream{Name: "ia", Address: u.l.Addr().String(), Incarnation: 1, Connections: 8}
+	return Upstream{Name: "ia", Address: u.l.Addr().String(), Incarnation: 1, MaxConnections: 8}
 }
 
 // answers serves requests with write until it returns false.
@@ -145,7 +145,7 @@
 }
 
 // call sends a request and returns the body of its response.
-func call(t testing.TB, l *Link, up Upstream, r *http.Request, limit time.Duration) (string, Result, error) {
+func call(t testing.TB, l *Client, up Upstream, r *http.Request, limit time.Duration) (string, Result, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
@@ -158,7 +158,7 @@
 	return string(b), res, err
 }
 
-func newLink(t testing.TB) *Link {
+func newLink(t testing.TB) *Client {
 	t.Helper()
 	l := New(Defaults(), clock.Real())
 	t.Cleanup(l.Stop)
--- a/io/trans/uplink/types.go
+++ b/io/trans/uplink/types.go
@@ -25,16 +25,16 @@
 	KindNone Kind = iota
 	// KindConnect: no connection could be opened.
 	KindConnect
-	// KindShare: every connection of the share is in use.
-	KindShare
+	// KindPoolFull: every connection of the share is in use.
+	KindPoolFull
 	// KindClosed: the connection ended before the response.
 	KindClosed
-	// KindSilent: the deadline passed before the response.
-	KindSilent
+	// KindTimeout: the deadline passed before the response.
+	KindTimeout
 	// KindCancelled: the caller gave up.
 	KindCancelled
-	// KindCrossed: the response belongs to another request.
-	KindCrossed
+	// KindMismatched: the response belongs to another request.
+	KindMismatched
 	// KindFraming: the response has neither length nor chunks, or is not HTTP.
 	KindFraming
 	// KindTruncated: the response ended early.
@@ -95,40 +95,40 @@
 	// connections to the earlier process are then closed.
 	Incarnation uint64
 	// Connections bounds the open connections; at least 1.
-	Connections int
+	MaxConnections int
 	// HealthPath is asked for by probes; empty turns them off.
 	HealthPath string
 	// Until is the time from which no byte of the request is written; 0 for no
 	// such time.
-	Until clock.Millis
+	WriteDeadline clock.Millis
 }
 
 // Settings of the connections.
 type Settings struct {
-	// Connect bounds the opening of a connection.
-	Connect clock.Millis
+	// ConnectTimeout bounds the opening of a connection.
+	ConnectTimeout clock.Millis
 	// ProbeAfter is the idle time after which a connection is probed, and
 	// Probe bounds the wait for the answer.
-	ProbeAfter, Probe clock.Millis
+	ProbeAfterIdle, ProbeTimeout clock.Millis
 	// CloseAfter is the time without a request after which a connection is
 	// closed.
-	CloseAfter clock.Millis
+	IdleTimeout clock.Millis
 	// ResponseHeader bounds the bytes of a response header.
-	ResponseHeader int64
+	MaxResponseHeaderBytes int64
 }
 
 // Defaults returns the settings of the design page.
 func Defaults() Settings {
 	return Settings{
-		Connect:        clock.Second,
-		ProbeAfter:     clock.Second,
-		Probe:          clock.Second,
-		CloseAfter:     10 * clock.Second,
-		ResponseHeader: 64 << 10,
+		ConnectTimeout:         clock.Second,
+		ProbeAfterIdle:         clock.Second,
+		ProbeTimeout:           clock.Second,
+		IdleTimeout:            10 * clock.Second,
+		MaxResponseHeaderBytes: 64 << 10,
 	}
 }
 
 // Counts are counters; they only grow.
 type Counts struct {
-	Requests, Opened, Closed, ConnectFailed, Silent, Crossed, Unsolicited, Framing, Probes, ProbesFailed, SilentClosed int64
+	Requests, Opened, Closed, ConnectFailed, TimedOut, Mismatched, Unsolicited, Framing, Probes, ProbesFailed, ClosedAsUnresponsive int64
 }
