Reword io/trans/uplink and name its parts by the terms of the field

The 'seal', 'keep', 'alive', 'silent' and 'duty' read like riddles. The connection type is now guardedConn, which blocks writes; the pool acquires connections; idle connections are maintained. Comments say when each state holds and why. Error messages name the operation and what is expected. No test matched them. Files are named for their subject.

--- a/io/trans/uplink/body.go
+++ b/io/trans/uplink/body.go
@@ -8,45 +8,46 @@
 	"camphorridge/core/state/clock"
 )
 
-// body passes the response on and settles the connection at its end. It is
-// used by one goroutine.
-type body struct {
-	inner io.ReadCloser
-	conn  *conn
-	link  *Client
-	ctx   context.Context
-	begun clock.Millis
-	// ended says that the connection was settled or closed.
-	ended bool
+// responseBody is the body of a response. At the end of the body it hands the
+// connection back to the pool. It is used by one goroutine.
+type responseBody struct {
+	inner   io.ReadCloser
+	conn    *conn
+	client  *Client
+	ctx     context.Context
+	started clock.Millis
+	// settled is true once the connection was handed back or closed.
+	settled bool
 }
 
-// Read implements io.Reader. A response that ends early is an *Error.
-func (b *body) Read(p []byte) (int, error) {
+// Read implements io.Reader. If the response ends early, the error is an
+// *Error.
+func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
 	switch {
-	case err == nil || b.ended:
+	case err == nil || b.settled:
 		return n, err
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		b.ended = true
-		b.conn.finished()
+		b.settled = true
+		b.conn.finishResponse()
 		return n, io.EOF
 	}
-	b.ended = true
-	b.conn.seal()
+	b.settled = true
+	b.conn.blockWrites()
 	_ = b.conn.Close()
-	kind := b.link.failure(b.ctx, b.conn.pool, b.begun, true)
+	kind := b.client.classifyFailure(b.ctx, b.conn.pool, b.started, true)
 	if kind == KindClosed {
 		kind = KindTruncated
 	}
-	return n, fail("response body", kind, "%w", err)
+	return n, newError("response body", kind, "%w", err)
 }
 
-// Close implements io.Closer. A body that was not read to its end costs the
-// connection.
-func (b *body) Close() error {
-	if !b.ended {
-		b.ended = true
-		b.conn.seal()
+// Close implements io.Closer. It closes the connection if the body was not
+// read to its end.
+func (b *responseBody) Close() error {
+	if !b.settled {
+		b.settled = true
+		b.conn.blockWrites()
 		_ = b.conn.Close()
 	}
 	return b.inner.Close()
--- a/io/trans/uplink/header.go
+++ b/io/trans/uplink/header.go
@@ -6,14 +6,15 @@
 	"strings"
 )
 
-// hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1)
-// and the older names for them.
+// hopByHop lists the headers that apply to a single connection (RFC 9110,
+// section 7.6.1), and the older names for them.
 var hopByHop = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// dropHopByHop removes the headers that must not be passed on.
+// dropHopByHop removes the hop-by-hop headers, including those named in the
+// Connection header, which must not be forwarded.
 func dropHopByHop(h http.Header) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
--- a/io/trans/uplink/rig_test.go
+++ b/io/trans/uplink/helpers_test.go
@@ -19,25 +19,25 @@
 	"gotest.tools/v3/assert"
 )
 
-// raw is an upstream that keeps every byte that it received, and whose answers
-// are scripted byte by byte.
-type raw struct {
-	l  net.Listener
-	mu sync.Mutex
-	// got holds the bytes received on each connection.
-	got []*bytes.Buffer
+// scriptedUpstream is an upstream that records every byte it receives and whose
+// responses are given byte by byte.
+type scriptedUpstream struct {
+	listener net.Listener
+	mu       sync.Mutex
+	// received holds the bytes received on each connection.
+	received []*bytes.Buffer
 	// serve handles one connection; n counts the connections from 0.
-	serve func(n int, c net.Conn)
-	conns []net.Conn
-	open  int
-	most  int
+	serve        func(n int, c net.Conn)
+	conns        []net.Conn
+	openConns    int
+	maxOpenConns int
 }
 
-func newRaw(t testing.TB, serve func(n int, c net.Conn)) *raw {
+func newScriptedUpstream(t testing.TB, serve func(n int, c net.Conn)) *scriptedUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	u := &raw{l: l, serve: serve}
+	u := &scriptedUpstream{listener: l, serve: serve}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for {
@@ -46,17 +46,17 @@
 				return
 			}
 			u.mu.Lock()
-			n := len(u.got)
-			u.got = append(u.got, &bytes.Buffer{})
+			n := len(u.received)
+			u.received = append(u.received, &bytes.Buffer{})
 			u.conns = append(u.conns, c)
-			u.open++
-			u.most = max(u.most, u.open)
+			u.openConns++
+			u.maxOpenConns = max(u.maxOpenConns, u.openConns)
 			u.mu.Unlock()
 			wg.Go(func() {
-				u.serve(n, &recorded{Conn: c, up: u, n: n})
+				u.serve(n, &recordedConn{Conn: c, up: u, n: n})
 				_ = c.Close()
 				u.mu.Lock()
-				u.open--
+				u.openConns--
 				u.mu.Unlock()
 			})
 		}
@@ -73,37 +73,38 @@
 	return u
 }
 
-type recorded struct {
+type recordedConn struct {
 	net.Conn
-	up *raw
+	up *scriptedUpstream
 	n  int
 }
 
-func (r *recorded) Read(p []byte) (int, error) {
+func (r *recordedConn) Read(p []byte) (int, error) {
 	n, err := r.Conn.Read(p)
 	r.up.mu.Lock()
-	r.up.got[r.n].Write(p[:n])
+	r.up.received[r.n].Write(p[:n])
 	r.up.mu.Unlock()
 	return n, err
 }
 
-// seen counts how often a request identity arrived, over all connections.
-func (u *raw) seen(id string) int {
+// arrivals counts how often a request ID arrived, over all connections.
+func (u *scriptedUpstream) arrivals(id string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := 0
-	for _, b := range u.got {
+	for _, b := range u.received {
 		n += strings.Count(b.String(), id)
 	}
 	return n
 }
 
-func (u *raw) upstream() Upstream {
-	return Upstream{Name: "ia", Address: u.l.Addr().String(), Incarnation: 1, MaxConnections: 8}
+func (u *scriptedUpstream) upstream() Upstream {
+	return Upstream{Name: "ia", Address: u.listener.Addr().String(), Incarnation: 1, MaxConnections: 8}
 }
 
-// answers serves requests with write until it returns false.
-func answers(write func(k int, c net.Conn, r *http.Request) bool) func(int, net.Conn) {
+// respondWith returns a connection handler that answers each request with write,
+// until write returns false. k counts the requests from 0.
+func respondWith(write func(k int, c net.Conn, r *http.Request) bool) func(int, net.Conn) {
 	return func(_ int, c net.Conn) {
 		in := bufio.NewReader(c)
 		for k := 0; ; k++ {
@@ -121,8 +122,8 @@
 	}
 }
 
-// ok answers with the identity of the request as the body.
-func ok(c net.Conn, r *http.Request) bool {
+// respondOK answers with the request ID as the body.
+func respondOK(c net.Conn, r *http.Request) bool {
 	id := r.Header.Get(HeaderRequestID)
 	head := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(id)) + "\r\n\r\n"
 	if r.Method == http.MethodHead {
@@ -144,10 +145,11 @@
 	return r
 }
 
-// call sends a request and returns the body of its response.
-func call(t testing.TB, l *Client, up Upstream, r *http.Request, limit time.Duration) (string, Result, error) {
+// call sends a request with the given timeout and returns the body of its
+// response.
+func call(t testing.TB, l *Client, up Upstream, r *http.Request, timeout time.Duration) (string, Result, error) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	resp, res, err := l.Do(ctx, up, r)
 	if err != nil {
@@ -158,29 +160,29 @@
 	return string(b), res, err
 }
 
-func newLink(t testing.TB) *Client {
+func newClient(t testing.TB) *Client {
 	t.Helper()
 	l := New(Defaults(), clock.Real())
 	t.Cleanup(l.Stop)
 	return l
 }
 
-// long bounds waits that are expected to end.
-const long = 30 * time.Second
+// longTimeout bounds waits that are expected to end.
+const longTimeout = 30 * time.Second
 
-// relay forwards one TCP connection after the other and can stop forwarding
-// without closing anything.
+// relay forwards TCP connections to a target and can silently drop their
+// traffic without closing them.
 type relay struct {
-	l     net.Listener
-	mu    sync.Mutex
-	mutes []*mute
-	conns []net.Conn
+	listener net.Listener
+	mu       sync.Mutex
+	switches []*muteSwitch
+	conns    []net.Conn
 }
 
-// mute is the switch of one connection.
-type mute struct{ on atomic.Bool }
+// muteSwitch makes one connection drop its traffic.
+type muteSwitch struct{ on atomic.Bool }
 
-func (m *mute) forward(to io.Writer, from io.ReadCloser) {
+func (m *muteSwitch) forward(to io.Writer, from io.ReadCloser) {
 	buf := make([]byte, 4096)
 	for {
 		n, err := from.Read(buf)
@@ -200,12 +202,12 @@
 	}
 }
 
-// silence makes all present connections lose everything from now on; later
-// ones work.
+// silence makes all current connections drop everything from now on; later
+// connections work.
 func (r *relay) silence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range r.mutes {
+	for _, m := range r.switches {
 		m.on.Store(true)
 	}
 }
@@ -214,7 +216,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	r := &relay{l: l}
+	r := &relay{listener: l}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for {
@@ -227,13 +229,13 @@
 				_ = in.Close()
 				continue
 			}
-			mute := &mute{}
+			muted := &muteSwitch{}
 			r.mu.Lock()
 			r.conns = append(r.conns, in, out)
-			r.mutes = append(r.mutes, mute)
+			r.switches = append(r.switches, muted)
 			r.mu.Unlock()
-			wg.Go(func() { mute.forward(out, in) })
-			wg.Go(func() { mute.forward(in, out) })
+			wg.Go(func() { muted.forward(out, in) })
+			wg.Go(func() { muted.forward(in, out) })
 		}
 	})
 	t.Cleanup(func() {
--- /dev/null
+++ b/io/trans/uplink/maintain.go
@@ -0,0 +1,132 @@
+package uplink
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"camphorridge/core/state/clock"
+)
+
+// maintainInterval is the interval between two checks of the idle connections.
+const maintainInterval clock.Millis = 250
+
+// Run probes and closes idle connections at regular intervals. It returns nil
+// after Stop.
+func (cl *Client) Run() error {
+	for {
+		select {
+		case <-cl.clk.After(maintainInterval):
+			for _, p := range cl.allPools() {
+				cl.maintainIdle(p)
+			}
+			cl.dropUnusedPools()
+		case <-cl.done:
+			return nil
+		}
+	}
+}
+
+// Stop makes Run return and closes the idle connections. Requests in flight
+// continue.
+func (cl *Client) Stop() {
+	cl.stopOnce.Do(func() { close(cl.done) })
+	for _, p := range cl.allPools() {
+		p.closeIdle(cl.clk.Now())
+	}
+}
+
+func (cl *Client) allPools() []*pool {
+	cl.mu.RLock()
+	defer cl.mu.RUnlock()
+	out := make([]*pool, 0, len(cl.pools))
+	for _, p := range cl.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+// dropPoolAfter is the time without a request after which a pool without
+// connections is dropped.
+const dropPoolAfter = clock.Minute
+
+func (cl *Client) dropUnusedPools() {
+	now := cl.clk.Now()
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for name, p := range cl.pools {
+		p.mu.Lock()
+		if p.open == 0 && now-p.lastRequest >= dropPoolAfter {
+			p.dropped = true
+			delete(cl.pools, name)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// maintainIdle closes the idle connections of a pool that have carried no
+// request for IdleTimeout, and probes those that have received no response for
+// ProbeAfterIdle.
+func (cl *Client) maintainIdle(p *pool) {
+	now := cl.clk.Now()
+	var old, due []*conn
+	p.mu.Lock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		switch {
+		case now-c.lastRequest >= cl.cfg.IdleTimeout:
+			old = append(old, c)
+		case p.up.HealthPath != "" && now-c.lastResponse >= cl.cfg.ProbeAfterIdle:
+			c.probing = true
+			due = append(due, c)
+		default:
+			kept = append(kept, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	up := p.up
+	p.mu.Unlock()
+	closeAll(old)
+	for _, c := range due {
+		// One short-lived goroutine for each connection, so that an
+		// unresponsive one does not delay the others.
+		go cl.probe(p, c, up)
+	}
+}
+
+// probe requests the health path on an idle connection. Any complete response,
+// whatever its status code, shows that the connection works. If the probe
+// fails, probe closes the connection and all that have been idle since before
+// it.
+func (cl *Client) probe(p *pool, c *conn, up Upstream) {
+	cl.counts.probes.Add(1)
+	started := cl.clk.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), cl.cfg.ProbeTimeout.Duration())
+	defer cancel()
+	if c.beginRequest() && cl.probeSucceeds(ctx, c, up) {
+		c.finishResponse()
+		return
+	}
+	c.blockWrites()
+	_ = c.Close()
+	cl.counts.probesFailed.Add(1)
+	cl.counts.closedAsUnresponsive.Add(int64(p.closeIdle(started)))
+}
+
+func (cl *Client) probeSucceeds(ctx context.Context, c *conn, up Upstream) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+up.Address+up.HealthPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.tr.RoundTrip(upstreamRequest(ctx, up, req))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if checkResponse(req, resp, &c.echoesID) != nil {
+		return false
+	}
+	_, err = io.CopyN(io.Discard, resp.Body, cl.cfg.MaxResponseHeaderBytes)
+	return err == io.EOF
+}
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -11,30 +11,34 @@
 	"camphorridge/core/state/clock"
 )
 
-// settleWait bounds the wait for a connection whose response was just read and
-// that net/http has not finished with. It takes microseconds as a rule.
-const settleWait clock.Millis = 2
+// maxSettleWait bounds the wait for a connection whose response was just read
+// but that net/http is not done with yet, which usually takes microseconds.
+const maxSettleWait clock.Millis = 2
 
-// conn is one connection with the transport that speaks HTTP on it.
+// conn is one connection, with the http.Transport that uses it.
 type conn struct {
-	*sealed
+	*guardedConn
 	tr          *http.Transport
 	pool        *pool
 	incarnation uint64
-	// alive is the time of the last answer; used that of the last request.
-	alive, used clock.Millis
-	// settling says that the response ended and net/http is not yet waiting
-	// for the next; guarded by pool.mu.
+	// lastResponse is the time of the last response, including those to
+	// probes; lastRequest is the end of the last request other than a probe.
+	// Both start as the time at which the connection was opened.
+	lastResponse, lastRequest clock.Millis
+	// settling is true from the end of a response until net/http waits for
+	// the next one; guarded by pool.mu.
 	settling bool
-	// probing says that the connection carries a probe; guarded by pool.mu.
+	// probing is true while the connection carries a probe; guarded by
+	// pool.mu.
 	probing bool
-	// requests is the number of requests carried.
+	// requests is the number of requests that the connection has carried,
+	// without probes.
 	requests int
-	// echoes says that a response echoed the identity of its request.
-	echoes bool
+	// echoesID is true once a response echoed the ID of its request.
+	echoesID bool
 }
 
-// pool holds the connections to one upstream.
+// pool holds the connections to one upstream and limits their number.
 type pool struct {
 	cfg    Settings
 	clk    clock.Clock
@@ -42,46 +46,47 @@
 
 	mu sync.Mutex
 	up Upstream
-	// open counts all connections, those being opened included; at most
-	// up.Connections.
+	// open is the number of connections, including those being opened; at
+	// most up.MaxConnections.
 	open int
-	// idle is a stack: the connection used last is used next, so that the
-	// surplus becomes old and is closed.
+	// idle is a stack: the connection used last is reused first, so that
+	// surplus connections reach the idle timeout and are closed.
 	idle []*conn
 	// settling is the number of connections with settling set.
 	settling int
-	// used is the time of the last request; dropped says that the link no
-	// longer holds the pool.
-	used    clock.Millis
-	dropped bool
-	// changed is signalled when a connection became idle or was closed.
+	// lastRequest is the start of the last request. dropped is true once the
+	// client has removed the pool.
+	lastRequest clock.Millis
+	dropped     bool
+	// changed is signalled when a connection becomes idle or is closed.
 	changed chan struct{}
 }
 
 type counters struct {
-	requests, opened, closed, connectFailed, silent, crossed, unsolicited, framing, probes, probesFailed, silentClosed atomic.Int64
+	requests, opened, closed, connectFailed, timedOut, mismatched, unsolicited, framing, probes, probesFailed, closedAsUnresponsive atomic.Int64
 }
 
-// step is what to do for a connection.
+// step is what acquire does next to get a connection.
 type step int
 
 const (
-	stepUse step = iota
+	stepUseIdle step = iota
 	stepOpen
 	stepWait
 	stepFull
 )
 
-// take returns a connection ready for a request. The error is an *Error of
-// kind connect, share or cancelled; nothing was written then.
-func (p *pool) take(ctx context.Context, up Upstream, fresh bool) (*conn, error) {
-	if err := p.renew(up); err != nil {
+// acquire returns a connection that is ready for a request; a newly opened one
+// if newConn is set. The error is an *Error of KindConnect, KindPoolFull or
+// KindCancelled, and nothing was written then.
+func (p *pool) acquire(ctx context.Context, up Upstream, newConn bool) (*conn, error) {
+	if err := p.updateUpstream(up); err != nil {
 		return nil, err
 	}
 	for mayWait := true; ; mayWait = false {
-		c, next := p.next(fresh, mayWait)
-		switch next {
-		case stepUse:
+		c, todo := p.nextStep(newConn, mayWait)
+		switch todo {
+		case stepUseIdle:
 			return c, nil
 		case stepOpen:
 			if c != nil {
@@ -89,44 +94,46 @@
 			}
 			return p.dial(ctx, up)
 		case stepFull:
-			return nil, fail("take", KindPoolFull, "all %d connections to %s are in use", up.MaxConnections, up.Name)
+			return nil, newError("acquire connection", KindPoolFull, "all %d connections to %s are in use", up.MaxConnections, up.Name)
 		case stepWait:
 			select {
 			case <-p.changed:
-			case <-p.clk.After(settleWait):
+			case <-p.clk.After(maxSettleWait):
 			case <-ctx.Done():
-				return nil, fail("take", KindCancelled, "%w", ctx.Err())
+				return nil, newError("acquire connection", KindCancelled, "%w", ctx.Err())
 			}
 		}
 	}
 }
 
-// next says what to do for a connection. For stepUse it returns an idle one.
-// For stepOpen the new connection is counted; a connection that is returned
-// with it must be closed first, to make room.
-func (p *pool) next(fresh, mayWait bool) (*conn, step) {
+// nextStep decides how to get a connection. With stepUseIdle it returns an idle
+// connection. With stepOpen the new connection is already counted in p.open,
+// and a connection returned with it must be closed before the new one is
+// opened.
+func (p *pool) nextStep(newConn, mayWait bool) (*conn, step) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && !fresh {
-		// A connection that cannot begin is closing itself; end counts it.
-		if c := p.pop(); c.begin() {
-			return c, stepUse
+	for len(p.idle) > 0 && !newConn {
+		// A connection that refuses a request is being closed, and
+		// handleClosed subtracts it from p.open.
+		if c := p.popIdle(); c.beginRequest() {
+			return c, stepUseIdle
 		}
 	}
 	switch {
-	case p.settling > 0 && !fresh && mayWait:
+	case p.settling > 0 && !newConn && mayWait:
 		return nil, stepWait
 	case p.open < p.up.MaxConnections:
 		p.open++
 		return nil, stepOpen
-	case fresh && len(p.idle) > 0:
+	case newConn && len(p.idle) > 0:
 		p.open++
-		return p.pop(), stepOpen
+		return p.popIdle(), stepOpen
 	}
 	return nil, stepFull
 }
 
-func (p *pool) pop() *conn {
+func (p *pool) popIdle() *conn {
 	n := len(p.idle) - 1
 	c := p.idle[n]
 	p.idle[n] = nil
@@ -148,19 +155,20 @@
 	}
 }
 
-// renew notes what is known of the upstream now. Connections to an earlier
-// process of it are closed. A request for an earlier process is refused: the
-// present one may serve another pool.
-func (p *pool) renew(up Upstream) error {
+// updateUpstream records the current address and limits of the upstream and the
+// time of the request. It closes idle connections to an earlier incarnation or
+// address. A request for an earlier incarnation is refused, because the current
+// process may serve another pool.
+func (p *pool) updateUpstream(up Upstream) error {
 	p.mu.Lock()
-	p.used = p.clk.Now()
+	p.lastRequest = p.clk.Now()
 	if up == p.up && !p.dropped {
 		p.mu.Unlock()
 		return nil
 	}
 	if p.dropped || up.Incarnation < p.up.Incarnation {
 		p.mu.Unlock()
-		return fail("take", KindConnect, "the connections to incarnation %d of %s were given up", up.Incarnation, up.Name)
+		return newError("acquire connection", KindConnect, "connections to incarnation %d of %s were closed because the upstream restarted or was removed", up.Incarnation, up.Name)
 	}
 	var old []*conn
 	if up.Incarnation != p.up.Incarnation || up.Address != p.up.Address {
@@ -178,35 +186,36 @@
 	}
 }
 
-// dial opens a connection that was counted before.
+// dial opens a connection that is already counted in p.open.
 func (p *pool) dial(ctx context.Context, up Upstream) (*conn, error) {
 	d := net.Dialer{Timeout: p.cfg.ConnectTimeout.Duration()}
 	raw, err := d.DialContext(ctx, "tcp", up.Address)
 	if err != nil {
 		p.unreserve()
 		if ctx.Err() != nil {
-			return nil, fail("connect", KindCancelled, "%w", ctx.Err())
+			return nil, newError("connect", KindCancelled, "%w", ctx.Err())
 		}
 		p.counts.connectFailed.Add(1)
-		return nil, fail("connect", KindConnect, "%w", err)
+		return nil, newError("connect", KindConnect, "%w", err)
 	}
 	p.counts.opened.Add(1)
 	now := p.clk.Now()
-	c := &conn{pool: p, incarnation: up.Incarnation, alive: now, used: now}
-	c.sealed = &sealed{Conn: raw, settled: c.rest, ended: c.end}
-	c.tr = transport(c.sealed, p.cfg)
-	c.begin()
+	c := &conn{pool: p, incarnation: up.Incarnation, lastResponse: now, lastRequest: now}
+	c.guardedConn = &guardedConn{Conn: raw, onSettled: c.handleSettled, onClosed: c.handleClosed}
+	c.tr = transport(c.guardedConn, p.cfg)
+	c.beginRequest()
 	return c, nil
 }
 
-// transport returns a transport that has this one connection and can open no
-// other. Its own retries fail therefore before they write anything.
-func transport(s *sealed, cfg Settings) *http.Transport {
+// transport returns a transport that uses only this connection and cannot open
+// another. A retry by net/http itself therefore fails before anything is
+// written.
+func transport(s *guardedConn, cfg Settings) *http.Transport {
 	var used atomic.Bool
 	return &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used.Swap(true) {
-				return nil, errSealed
+				return nil, errWritesBlocked
 			}
 			return s, nil
 		},
@@ -218,8 +227,9 @@
 	}
 }
 
-// rest makes the connection idle.
-func (c *conn) rest() {
+// handleSettled returns the connection to the idle list after a response, or
+// closes it if the upstream has restarted.
+func (c *conn) handleSettled() {
 	p := c.pool
 	now := p.clk.Now()
 	p.mu.Lock()
@@ -227,11 +237,11 @@
 		c.settling = false
 		p.settling--
 	}
-	c.alive = now
+	c.lastResponse = now
 	if c.probing {
 		c.probing = false
 	} else {
-		c.used = now
+		c.lastRequest = now
 	}
 	keep := c.incarnation == p.up.Incarnation
 	if keep {
@@ -245,8 +255,8 @@
 	p.signal()
 }
 
-// end forgets the connection after it was closed.
-func (c *conn) end() {
+// handleClosed removes a closed connection from the pool.
+func (c *conn) handleClosed() {
 	p := c.pool
 	p.mu.Lock()
 	p.open--
@@ -262,31 +272,33 @@
 	}
 	p.mu.Unlock()
 	p.counts.closed.Add(1)
-	if c.unsolicited() {
+	if c.sawUnsolicited() {
 		p.counts.unsolicited.Add(1)
 	}
-	// The transport was left with a connection that is gone; it holds nothing
-	// else that needs closing.
+	// The transport needs no closing: it holds nothing but the closed
+	// connection.
 	p.signal()
 }
 
-// finished is called once the response was read to its end.
-func (c *conn) finished() {
+// finishResponse marks the response as read to its end. The connection becomes
+// idle as soon as net/http waits for the next response.
+func (c *conn) finishResponse() {
 	p := c.pool
 	p.mu.Lock()
 	c.settling = true
 	p.settling++
 	p.mu.Unlock()
-	c.finish()
+	c.markResponseRead()
 }
 
-// closeIdle closes the connections that showed no life since a time.
+// closeIdle closes the idle connections without a response after the given time
+// and returns their number.
 func (p *pool) closeIdle(since clock.Millis) int {
 	p.mu.Lock()
 	var old []*conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.alive <= since {
+		if c.lastResponse <= since {
 			old = append(old, c)
 			continue
 		}
--- a/io/trans/uplink/types.go
+++ b/io/trans/uplink/types.go
@@ -6,18 +6,18 @@
 	"camphorridge/core/state/clock"
 )
 
-// HeaderRequestID carries the identity of a request. An upstream may echo it,
-// and the echo is then checked.
+// HeaderRequestID is the header that carries the ID of a request. An upstream
+// may echo it in its response; the echoed ID is then checked.
 const HeaderRequestID = "Camphorridge-Request-Id"
 
-// HeaderOutcome tells callers what became of a request; an upstream sets it to
-// OutcomeNotRun when it refused one.
+// HeaderOutcome is the header that tells callers the outcome of a request. An
+// upstream sets it to OutcomeNotRun when it refuses a request.
 const HeaderOutcome = "Camphorridge-Outcome"
 
-// OutcomeNotRun is the value of HeaderOutcome for requests that did not run.
+// OutcomeNotRun is the value of HeaderOutcome for a request that did not run.
 const OutcomeNotRun = "not-run"
 
-// Kind tells the failures of a request apart.
+// Kind classifies the failures of a request.
 type Kind int
 
 // The kinds of failure.
@@ -25,19 +25,21 @@
 	KindNone Kind = iota
 	// KindConnect: no connection could be opened.
 	KindConnect
-	// KindPoolFull: every connection of the share is in use.
+	// KindPoolFull: the upstream's connections are all in use.
 	KindPoolFull
-	// KindClosed: the connection ended before the response.
+	// KindClosed: the connection was closed before a response arrived.
 	KindClosed
-	// KindTimeout: the deadline passed before the response.
+	// KindTimeout: the deadline passed before the response arrived.
 	KindTimeout
-	// KindCancelled: the caller gave up.
+	// KindCancelled: the caller cancelled the request.
 	KindCancelled
 	// KindMismatched: the response belongs to another request.
 	KindMismatched
-	// KindFraming: the response has neither length nor chunks, or is not HTTP.
+	// KindFraming: the response has neither a Content-Length nor a chunked
+	// encoding, or its status code is not that of a final response.
 	KindFraming
-	// KindTruncated: the response ended early.
+	// KindTruncated: the connection was closed before the end of the response
+	// body.
 	KindTruncated
 )
 
@@ -46,7 +48,7 @@
 	"cancelled", "crossed response", "response without end", "truncated response",
 }
 
-// String returns the text for refusals and logs.
+// String returns the text of k for refusals and log lines.
 func (k Kind) String() string {
 	if k < 0 || int(k) >= len(kindNames) {
 		return "unknown"
@@ -54,70 +56,71 @@
 	return kindNames[k]
 }
 
-// Error is an error of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
 	Err  error
 }
 
-// Error returns the operation and the reason.
+// Error returns the operation and the cause.
 func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
 
-// Unwrap returns the reason.
+// Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-func fail(op string, k Kind, format string, args ...any) *Error {
+func newError(op string, k Kind, format string, args ...any) *Error {
 	return &Error{Op: op, Kind: k, Err: fmt.Errorf(format, args...)}
 }
 
-// Result tells what is known of a request.
+// Result describes what is known about a request after it was attempted.
 type Result struct {
-	// BytesWritten says that a byte of the request may have reached the
+	// BytesWritten is true if a byte of the request may have reached the
 	// upstream.
 	BytesWritten bool
-	// NotRun says that the request did not run: no byte was written, or the
-	// upstream itself said so.
+	// NotRun is true if the request certainly did not run: no byte was
+	// written, or the upstream answered with OutcomeNotRun.
 	NotRun bool
-	// Reused says that the connection had carried a request before.
+	// Reused is true if the connection had carried an earlier request.
 	Reused bool
-	// Kind is the failure; KindNone for a response.
+	// Kind classifies the failure; KindNone if there is a response.
 	Kind Kind
 }
 
-// Upstream is where a request goes.
+// Upstream is the destination of a request.
 type Upstream struct {
-	// Name identifies the upstream over its restarts.
+	// Name identifies the upstream; it stays the same across restarts.
 	Name string
 	// Address is host:port.
 	Address string
-	// Incarnation changes when the upstream's process starts again; the
+	// Incarnation increases when the upstream's process restarts; the
 	// connections to the earlier process are then closed.
 	Incarnation uint64
-	// Connections bounds the open connections; at least 1.
+	// MaxConnections bounds the open connections; at least 1.
 	MaxConnections int
-	// HealthPath is asked for by probes; empty turns them off.
+	// HealthPath is the path that probes request; empty disables probes.
 	HealthPath string
-	// Until is the time from which no byte of the request is written; 0 for no
-	// such time.
+	// WriteDeadline is the time from which no byte of the request is written;
+	// 0 for none.
 	WriteDeadline clock.Millis
 }
 
-// Settings of the connections.
+// Settings configures the connections.
 type Settings struct {
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout clock.Millis
-	// ProbeAfter is the idle time after which a connection is probed, and
-	// Probe bounds the wait for the answer.
+	// ProbeAfterIdle is the time since its last response after which an idle
+	// connection is probed, and ProbeTimeout bounds the probe.
 	ProbeAfterIdle, ProbeTimeout clock.Millis
-	// CloseAfter is the time without a request after which a connection is
-	// closed.
+	// IdleTimeout is the time since its last request after which an idle
+	// connection is closed.
 	IdleTimeout clock.Millis
-	// ResponseHeader bounds the bytes of a response header.
+	// MaxResponseHeaderBytes bounds a response header, and the response body
+	// of a probe.
 	MaxResponseHeaderBytes int64
 }
 
-// Defaults returns the settings of the design page.
+// Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
 		ConnectTimeout:         clock.Second,
@@ -128,7 +131,7 @@
 	}
 }
 
-// Counts are counters; they only grow.
+// Counts holds the counters of a Client; they never decrease.
 type Counts struct {
 	Requests, Opened, Closed, ConnectFailed, TimedOut, Mismatched, Unsolicited, Framing, Probes, ProbesFailed, ClosedAsUnresponsive int64
 }
