--- a/io/trans/front/bench_test.go
+++ b/io/trans/front/bench_test.go
@@ -52,13 +52,13 @@
 
 // burst sends n requests over the callers and returns the requests a second
 // and the median latency.
-func burst(b testing.TB, cs []*caller, n int) (rate, median float64) {
+func burst(b testing.TB, cs []*caller, n int) (rate, medianMicros float64) {
 	var left atomic.Int64
 	left.Store(int64(n))
 	var mu sync.Mutex
 	var all []time.Duration
 	var wg sync.WaitGroup
-	begun := time.Now()
+	started := time.Now()
 	for _, c := range cs {
 		wg.Go(func() {
 			var mine []time.Duration
@@ -76,12 +76,12 @@
 		})
 	}
 	wg.Wait()
-	rate = float64(n) / time.Since(begun).Seconds()
+	rate = float64(n) / time.Since(started).Seconds()
 	slices.Sort(all)
 	return rate, float64(all[len(all)/2].Microseconds())
 }
 
-func mid(v []float64) float64 {
+func median(v []float64) float64 {
 	slices.Sort(v)
 	return v[len(v)/2]
 }
@@ -95,7 +95,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = w.Write(answer)
 	})
-	g := newRig(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
+	g := newTestEntry(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
 	target := &url.URL{Scheme: "http", Host: up}
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
@@ -130,11 +130,11 @@
 	}
 	for i := range sides {
 		s := &sides[i]
-		b.ReportMetric(mid(s.rates), s.name+"-req/s")
-		b.ReportMetric(mid(s.times), s.name+"-us")
-		b.ReportMetric(mid(s.single), s.name+"-1-conn-us")
+		b.ReportMetric(median(s.rates), s.name+"-req/s")
+		b.ReportMetric(median(s.times), s.name+"-us")
+		b.ReportMetric(median(s.single), s.name+"-1-conn-us")
 	}
-	b.ReportMetric(mid(sides[2].rates)/mid(sides[1].rates), "front/proxy")
+	b.ReportMetric(median(sides[2].rates)/median(sides[1].rates), "front/proxy")
 }
 
 // BenchmarkUnusedLending compares the request path with lending off, and on
@@ -149,7 +149,7 @@
 	var sides [2][]*caller
 	var rates [2][]float64
 	for i, lease := range []clock.Millis{0, 2 * clock.Second} {
-		g := newLendingRig(b, lease, callers/2, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
+		g := newLendingTestEntry(b, lease, callers/2, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
 		for range callers {
 			sides[i] = append(sides[i], dialCaller(b, g.url[len("http://"):], HeaderCustomer+": acme\r\n"))
 		}
--- a/io/trans/front/doc.go
+++ b/io/trans/front/doc.go
@@ -1,4 +1,4 @@
-// Package front is the HTTP front end for callers: it checks requests, asks
-// the dispatcher, sends each request at most once and says truthfully what
-// became of it.
+// Package front is the HTTP front end for callers. It validates requests, gets
+// an upstream from the dispatcher, sends each request to run at most once, and
+// reports a reliable outcome to the caller.
 package front
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -17,99 +17,102 @@
 
 // Handler is the HTTP handler for callers.
 type Handler[D Dispatcher, C Claimer] struct {
-	cfg          Settings
-	clk          clock.Clock
-	gate         D
-	claims       C
-	link         *uplink.Client
-	prefix       string
-	number       atomic.Uint64
-	small, large sync.Pool
-	counts       struct{ ran, notRun, unknown, duplicate, aborted, retries atomic.Int64 }
+	cfg                        Settings
+	clk                        clock.Clock
+	dispatcher                 D
+	claims                     C
+	client                     *uplink.Client
+	idPrefix                   string
+	idSequence                 atomic.Uint64
+	smallBuffers, largeBuffers sync.Pool
+	counts                     struct{ ran, notRun, replyUnknown, replyDuplicate, aborted, retries atomic.Int64 }
 }
 
-// New returns a handler.
-func New[D Dispatcher, C Claimer](cfg Settings, clk clock.Clock, gate D, claims C, link *uplink.Client) *Handler[D, C] {
+// New returns a handler that sends requests through client, under grants of
+// dispatcher.
+func New[D Dispatcher, C Claimer](cfg Settings, clk clock.Clock, dispatcher D, claims C, client *uplink.Client) *Handler[D, C] {
 	var seed [6]byte
-	// Read never fails; see crypto/rand.
+	// crypto/rand documents that Read never fails.
 	_, _ = rand.Read(seed[:])
-	f := &Handler[D, C]{cfg: cfg, clk: clk, gate: gate, claims: claims, link: link}
-	// The random part keeps the identities of two runs of a process apart.
-	f.prefix = string(cfg.Self) + "-" + hex.EncodeToString(seed[:]) + "-"
-	f.small.New = func() any { b := make([]byte, smallBuffer); return &b }
-	f.large.New = func() any { b := make([]byte, cfg.BufferBytes); return &b }
+	f := &Handler[D, C]{cfg: cfg, clk: clk, dispatcher: dispatcher, claims: claims, client: client}
+	// The random part keeps request IDs unique across restarts of the process.
+	f.idPrefix = string(cfg.Self) + "-" + hex.EncodeToString(seed[:]) + "-"
+	f.smallBuffers.New = func() any { b := make([]byte, smallBufferBytes); return &b }
+	f.largeBuffers.New = func() any { b := make([]byte, cfg.BufferBytes); return &b }
 	return f
 }
 
-// smallBuffer is the size of the buffers for short bodies. A queue of thousands
-// of them would hold hundreds of MiB in large buffers.
-const smallBuffer = 4 << 10
+// smallBufferBytes is the size of the buffers for short bodies. Thousands of
+// queued requests would hold hundreds of MiB if each had a large buffer.
+const smallBufferBytes = 4 << 10
 
-// buffer returns a pooled buffer for a body of a declared length, below 0 for
-// none, with room for one byte more.
-func (f *Handler[D, C]) buffer(length int64) *[]byte {
-	if length >= 0 && length < smallBuffer && f.cfg.BufferBytes >= smallBuffer {
-		return f.small.Get().(*[]byte)
+// getBuffer returns a pooled buffer for a body of the given declared length; a
+// negative length means that none was declared. A small buffer is used only if
+// it holds at least one byte more than length.
+func (f *Handler[D, C]) getBuffer(length int64) *[]byte {
+	if length >= 0 && length < smallBufferBytes && f.cfg.BufferBytes >= smallBufferBytes {
+		return f.smallBuffers.Get().(*[]byte)
 	}
-	return f.large.Get().(*[]byte)
+	return f.largeBuffers.Get().(*[]byte)
 }
 
-func (f *Handler[D, C]) release(b *[]byte) {
+func (f *Handler[D, C]) putBuffer(b *[]byte) {
 	if len(*b) == f.cfg.BufferBytes {
-		f.large.Put(b)
+		f.largeBuffers.Put(b)
 		return
 	}
-	f.small.Put(b)
+	f.smallBuffers.Put(b)
 }
 
 // Counts returns the counters.
 func (f *Handler[D, C]) Counts() Counts {
 	c := &f.counts
 	return Counts{
-		Ran: c.ran.Load(), NotRun: c.notRun.Load(), Unknown: c.unknown.Load(),
-		Duplicate: c.duplicate.Load(), Aborted: c.aborted.Load(), Retries: c.retries.Load(),
+		Ran: c.ran.Load(), NotRun: c.notRun.Load(), Unknown: c.replyUnknown.Load(),
+		Duplicate: c.replyDuplicate.Load(), Aborted: c.aborted.Load(), Retries: c.retries.Load(),
 	}
 }
 
-// exchange is one request of a caller on its way.
+// exchange is the state of one request of a caller, from its arrival to its
+// response.
 type exchange struct {
-	w   http.ResponseWriter
-	r   *http.Request
-	ctx context.Context
-	in  inbound
-	id  string
-	// deadline is when the caller stops waiting.
+	w      http.ResponseWriter
+	r      *http.Request
+	ctx    context.Context
+	parsed parsedRequest
+	id     string
+	// deadline is the time at which the caller stops waiting.
 	deadline clock.Millis
 	body     payload
-	// fallback is the not-run answer of an upstream, for the case that the
-	// retry is refused.
-	fallback *held
+	// fallback is the not-run response of an upstream. It is delivered if the
+	// dispatcher refuses the retry.
+	fallback *bufferedResponse
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Handler[D, C]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := exchange{w: w, r: r, id: f.prefix + strconv.FormatUint(f.number.Add(1), 36)}
-	in, bad := parse(&f.cfg, r)
-	if bad != nil {
-		f.refuse(&x, bad.Status, bad.Err.Error(), 0)
+	x := exchange{w: w, r: r, id: f.idPrefix + strconv.FormatUint(f.idSequence.Add(1), 36)}
+	parsed, fault := parse(&f.cfg, r)
+	if fault != nil {
+		f.replyRefused(&x, fault.Status, fault.Err.Error(), 0)
 		return
 	}
-	x.in = in
-	x.deadline = f.clk.Now() + in.timeout
-	ctx, cancel := context.WithTimeout(r.Context(), in.timeout.Duration())
+	x.parsed = parsed
+	x.deadline = f.clk.Now() + parsed.timeout
+	ctx, cancel := context.WithTimeout(r.Context(), parsed.timeout.Duration())
 	defer cancel()
 	x.ctx = ctx
 	if r.ContentLength != 0 {
-		buf := f.buffer(r.ContentLength)
-		defer f.release(buf)
-		if x.body, bad = readPayload(&f.cfg, w, r, *buf); bad != nil {
-			f.refuse(&x, bad.Status, bad.Err.Error(), 0)
+		buf := f.getBuffer(r.ContentLength)
+		defer f.putBuffer(buf)
+		if x.body, fault = readPayload(&f.cfg, w, r, *buf); fault != nil {
+			f.replyRefused(&x, fault.Status, fault.Err.Error(), 0)
 			return
 		}
 	} else {
 		x.body.whole = true
 	}
-	if in.key == "" {
+	if parsed.key == "" {
 		f.run(&x)
 		return
 	}
@@ -118,64 +121,68 @@
 
 // runClaimed runs a request that carries an idempotency key.
 func (f *Handler[D, C]) runClaimed(x *exchange) {
-	key := model.ClaimKey{Customer: x.in.customer, Service: x.in.service, Key: x.in.key}
+	key := model.ClaimKey{Customer: x.parsed.customer, Service: x.parsed.service, Key: x.parsed.key}
 	answer, err := f.claims.Claim(x.ctx, key, x.id)
 	if err != nil {
-		// The claim may have been granted and its answer lost.
+		// The claim may have been granted and only the response lost, so it is
+		// released.
 		f.claims.Finish(model.ClaimOutcome{Key: key, Token: x.id, NotRun: true})
-		f.refuse(x, http.StatusServiceUnavailable, "the idempotency key could not be claimed: "+err.Error(), clock.Second)
+		f.replyRefused(x, http.StatusServiceUnavailable, "the idempotency key could not be claimed: "+err.Error(), clock.Second)
 		return
 	}
 	if !answer.Granted {
-		f.duplicate(x, answer)
+		f.replyDuplicate(x, answer)
 		return
 	}
-	end := model.ClaimOutcome{Key: key, Token: x.id, State: model.ClaimUnknown}
-	// The outcome is recorded also when run ends by aborting the connection.
-	defer func() { f.claims.Finish(end) }()
-	v := f.run(x)
+	outcome := model.ClaimOutcome{Key: key, Token: x.id, State: model.ClaimUnknown}
+	// Deferred, because run panics to abort the caller's connection and the
+	// outcome must be recorded then too.
+	defer func() { f.claims.Finish(outcome) }()
+	result := f.run(x)
 	switch {
-	case v.notRun:
-		end.NotRun = true
-	case v.status != 0:
-		end.State, end.Status = model.ClaimDone, v.status
+	case result.notRun:
+		outcome.NotRun = true
+	case result.status != 0:
+		outcome.State, outcome.Status = model.ClaimDone, result.status
 	}
 }
 
-// verdict is what is known of a request at its end.
-type verdict struct {
+// runResult is the final outcome of a request. The zero value means that the
+// outcome is unknown.
+type runResult struct {
 	notRun bool
-	// status is that of a whole response that was read; 0 for unknown.
+	// status is the status code of a response that was read completely; 0 if
+	// there is none.
 	status int
 }
 
-// run asks for grants and sends the request until it ran, its outcome is
-// unknown, or no further try is allowed.
-func (f *Handler[D, C]) run(x *exchange) verdict {
-	ask := entry.Request{Customer: x.in.customer, Pool: x.in.service, Deadline: x.deadline, ID: x.id}
+// run acquires a grant and sends the request, and repeats both until the
+// request ran, its outcome is unknown, or no further attempt is allowed.
+func (f *Handler[D, C]) run(x *exchange) runResult {
+	req := entry.Request{Customer: x.parsed.customer, Pool: x.parsed.service, Deadline: x.deadline, ID: x.id}
 	reason := ""
-	for try := 1; ; try++ {
-		grant, refusal := f.gate.Ask(x.ctx, ask)
+	for attempt := 1; ; attempt++ {
+		grant, refusal := f.dispatcher.Ask(x.ctx, req)
 		switch {
 		case refusal != nil && x.fallback != nil:
 			return f.deliver(x, x.fallback, OutcomeNotRun)
 		case refusal != nil && reason != "":
-			f.refuse(x, http.StatusServiceUnavailable, reason, clock.Second)
-			return verdict{notRun: true}
+			f.replyRefused(x, http.StatusServiceUnavailable, reason, clock.Second)
+			return runResult{notRun: true}
 		case refusal != nil:
-			f.refuse(x, refusalStatus(refusal.Kind), refusal.Reason, refusal.RetryAfter)
-			return verdict{notRun: true}
+			f.replyRefused(x, refusalStatus(refusal.Kind), refusal.Reason, refusal.RetryAfter)
+			return runResult{notRun: true}
 		}
-		t := f.send(x, grant, try < f.cfg.MaxAttempts)
-		if !t.again {
-			return t.verdict
+		sent := f.send(x, grant, attempt < f.cfg.MaxAttempts)
+		if !sent.mayRetry {
+			return sent.result
 		}
 		f.counts.retries.Add(1)
-		ask.Retry, ask.Avoid, reason = true, grant.Upstream.Instance, t.reason
+		req.Retry, req.Avoid, reason = true, grant.Upstream.Instance, sent.reason
 	}
 }
 
-// refusalStatus returns the status for a refusal of the dispatcher.
+// refusalStatus returns the HTTP status code for a refusal by the dispatcher.
 func refusalStatus(k entry.RefusalKind) int {
 	switch k {
 	case entry.RefusalNoContract:
--- a/io/trans/front/front_test.go
+++ b/io/trans/front/front_test.go
@@ -19,7 +19,7 @@
 	return strings.NewReader(s)
 }
 
-func (g *rig) do(t testing.TB, r *http.Request) (*http.Response, string) {
+func (g *testEntry) do(t testing.TB, r *http.Request) (*http.Response, string) {
 	t.Helper()
 	resp, err := g.client.Do(r)
 	assert.NilError(t, err)
@@ -44,7 +44,7 @@
 
 // Guards against requests or responses that are altered on their way.
 func TestRequestAndResponsePassThrough(t *testing.T) {
-	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 10)}, upstream(t, echo))
+	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 10)}, upstream(t, echo))
 	for range 3 {
 		resp, body := g.do(t, g.request(t, "POST", "acme", "hello"))
 		assert.Equal(t, resp.StatusCode, 200)
@@ -55,5 +55,5 @@
 	resp, body := g.do(t, g.request(t, "PUT", "acme", big))
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.Assert(t, body == "PUT /svc/x "+big)
-	assert.Equal(t, g.link.Counts().Opened, int64(1))
+	assert.Equal(t, g.upstreams.Counts().Opened, int64(1))
 }
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -21,7 +21,7 @@
 	"gotest.tools/v3/poll"
 )
 
-const large = 300 << 10
+const largeBodyBytes = 300 << 10
 
 // Guards against outcomes that do not say what happened. The upstream's count
 // of arrivals is the judge.
@@ -47,14 +47,14 @@
 		{"silent", "silent", 504, OutcomeUnknown},
 	} {
 		hang := make(chan struct{})
-		u := newRaw(t, func(conn net.Conn, _ *http.Request) {
+		u := newScriptedUpstream(t, func(conn net.Conn, _ *http.Request) {
 			if c.answer == "silent" {
 				<-hang
 				return
 			}
-			answer(conn, c.answer)
+			writeResponse(conn, c.answer)
 		})
-		g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+		g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 		for _, key := range []string{"", "k1"} {
 			r := g.request(t, "POST", "acme", "x", "X-Mark", "m"+key, HeaderTimeout, "5000")
 			if c.answer == "silent" {
@@ -79,23 +79,23 @@
 			assert.Equal(t, held.State, model.ClaimUnknown, c.name)
 		}
 		close(hang)
-		g.idle(t)
+		g.waitIdle(t)
 	}
 }
 
-func (c *claims) get(key string) (model.ClaimOutcome, bool) {
+func (c *memoryClaimer) get(key string) (model.ClaimOutcome, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o, ok := c.held[model.ClaimKey{Customer: "acme", Service: "svc", Key: key}]
+	o, ok := c.outcomes[model.ClaimKey{Customer: "acme", Service: "svc", Key: key}]
 	return o, ok
 }
 
 // idle waits until no request holds a slot.
-func (g *rig) idle(t testing.TB) entry.Status {
+func (g *testEntry) waitIdle(t testing.TB) entry.Status {
 	t.Helper()
 	var s entry.Status
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if s = g.gate.Snapshot(); s.Counts.Completed == s.Counts.Grants {
+		if s = g.dispatcher.Snapshot(); s.Counts.Completed == s.Counts.Grants {
 			return poll.Success()
 		}
 		return poll.Continue("%d of %d grants are back", s.Counts.Completed, s.Counts.Grants)
@@ -106,10 +106,10 @@
 // Guards against requests that should be refused being sent, and against
 // refusals without an outcome.
 func TestRefusedRequests(t *testing.T) {
-	u := newRaw(t, func(c net.Conn, _ *http.Request) {
-		answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
+		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
-	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	for _, c := range []struct {
 		name   string
 		change func(r *http.Request)
@@ -151,10 +151,10 @@
 
 // Guards against conflicting lengths, which let one request hide in another.
 func TestConflictingLengthsAreRefused(t *testing.T) {
-	u := newRaw(t, func(c net.Conn, _ *http.Request) {
-		answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
+		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
-	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	for _, head := range []string{
 		"Content-Length: 3\r\nContent-Length: 4\r\n",
 		"Content-Length: x\r\n",
@@ -163,7 +163,7 @@
 	} {
 		c, err := net.Dial("tcp", g.url[len("http://"):])
 		assert.NilError(t, err)
-		send(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: m\r\nCamphorridge-Customer: acme\r\n"+head+"\r\nabc")
+		writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: m\r\nCamphorridge-Customer: acme\r\n"+head+"\r\nabc")
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		assert.NilError(t, err)
 		assert.Assert(t, resp.StatusCode == 400 || resp.StatusCode == 501, "%d", resp.StatusCode)
@@ -172,7 +172,7 @@
 	// With both, the chunks count (RFC 9112, 6.3); the length is not passed on.
 	c, err := net.Dial("tcp", g.url[len("http://"):])
 	assert.NilError(t, err)
-	send(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: both\r\nCamphorridge-Customer: acme\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+	writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: both\r\nCamphorridge-Customer: acme\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
 	_, err = http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
 	_ = c.Close()
@@ -180,16 +180,16 @@
 }
 
 // Guards against a truncated answer that looks whole, also beyond the buffer.
-func TestLargeTruncatedAnswerAborts(t *testing.T) {
-	body := strings.Repeat("x", large)
-	u := newRaw(t, func(c net.Conn, r *http.Request) {
+func TestLargeTruncatedResponseAborts(t *testing.T) {
+	body := strings.Repeat("x", largeBodyBytes)
+	u := newScriptedUpstream(t, func(c net.Conn, r *http.Request) {
 		cut := body
 		if r.URL.Path == "/svc/cut" {
-			cut = body[:large-1]
+			cut = body[:largeBodyBytes-1]
 		}
-		answer(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", large, cut))
+		writeResponse(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", largeBodyBytes, cut))
 	})
-	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	_, got := g.do(t, g.request(t, "GET", "acme", ""))
 	assert.Assert(t, got == body)
 	r := g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1")
@@ -198,8 +198,8 @@
 	assert.NilError(t, err)
 	n, err := io.Copy(io.Discard, resp.Body)
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes, %v", n, err)
-	g.idle(t)
-	assert.Equal(t, g.front.Counts().Aborted, int64(1))
+	g.waitIdle(t)
+	assert.Equal(t, g.handler.Counts().Aborted, int64(1))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if o, _ := g.claims.get("k1"); o.State == model.ClaimUnknown {
 			return poll.Success()
@@ -210,7 +210,7 @@
 
 // Guards against running a keyed request twice.
 func TestDuplicates(t *testing.T) {
-	g := newRig(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
+	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
 	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, first.Header.Get(HeaderOutcome), OutcomeRan)
 	second, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
@@ -230,10 +230,10 @@
 // Guards against retries that are not made though nothing ran, that go beyond
 // the budget, or that alter the body.
 func TestRetryAfterProvenNotRun(t *testing.T) {
-	busy := newRaw(t, func(c net.Conn, _ *http.Request) {
-		answer(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
+	busy := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
+		writeResponse(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
 	})
-	g := newRig(t, 8, []model.Contract{contract("acme", 64, 8, 50)}, busy.address, upstream(t, echo), "127.0.0.1:1")
+	g := newTestEntry(t, 8, []model.Contract{contract("acme", 64, 8, 50)}, busy.address, upstream(t, echo), "127.0.0.1:1")
 	big := strings.Repeat("b", 60<<10)
 	ran, refused := 0, 0
 	for range 40 {
@@ -247,17 +247,17 @@
 		}
 	}
 	assert.Equal(t, ran+refused, 40)
-	s := g.idle(t)
+	s := g.waitIdle(t)
 	assert.Assert(t, s.Counts.Retries > 0 && s.Counts.Retries <= 21, "%d retries", s.Counts.Retries)
-	assert.Equal(t, g.front.Counts().Retries >= s.Counts.Retries, true)
+	assert.Equal(t, g.handler.Counts().Retries >= s.Counts.Retries, true)
 }
 
 // Guards against a caller that left still holding a slot.
-func TestCallerDisconnects(t *testing.T) {
+func TestDisconnectedCallerFreesSlot(t *testing.T) {
 	got, hang := make(chan struct{}, 1), make(chan struct{})
 	defer close(hang)
-	u := newRaw(t, func(net.Conn, *http.Request) { got <- struct{}{}; <-hang })
-	g := newRig(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, u.address)
+	u := newScriptedUpstream(t, func(net.Conn, *http.Request) { got <- struct{}{}; <-hang })
+	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, u.address)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() {
@@ -267,24 +267,24 @@
 	<-got
 	cancel()
 	assert.Assert(t, <-ended != nil)
-	s := g.idle(t)
+	s := g.waitIdle(t)
 	assert.Equal(t, s.Customers[0].Running, 0)
 	assert.Equal(t, s.Upstreams[0].Score, 0.0)
 }
 
 // Guards against callers that send slowly and hold a slot or a goroutine.
 func TestSlowBodyIsCutOff(t *testing.T) {
-	g := newRig(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
-	g.front.cfg.BodyReadTimeout = 50
+	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
+	g.handler.cfg.BodyReadTimeout = 50
 	c, err := net.Dial("tcp", g.url[len("http://"):])
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
-	send(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nCamphorridge-Customer: acme\r\nContent-Length: 9\r\n\r\nabc")
+	writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nCamphorridge-Customer: acme\r\nContent-Length: 9\r\n\r\nabc")
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 400)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun)
-	assert.Equal(t, g.gate.Snapshot().Counts.Requests, int64(0))
+	assert.Equal(t, g.dispatcher.Snapshot().Counts.Requests, int64(0))
 }
 
 // Guards against a stop that cuts requests in flight, and against one that
--- a/io/trans/front/parse.go
+++ b/io/trans/front/parse.go
@@ -9,37 +9,37 @@
 	"camphorridge/core/state/model"
 )
 
-// maxKey bounds idempotency keys.
-const maxKey = 255
+// maxKeyBytes bounds the length of an idempotency key.
+const maxKeyBytes = 255
 
-// inbound is a request that was checked.
-type inbound struct {
+// parsedRequest is what the front end needs from a valid request.
+type parsedRequest struct {
 	customer model.Customer
 	service  model.Pool
 	timeout  clock.Millis
-	// key is empty for a request that needs no claim.
+	// key is the idempotency key; empty if the request needs no claim.
 	key string
 }
 
-// parse checks a request and returns what the front end needs of it.
-func parse(cfg *Settings, r *http.Request) (in inbound, err *Error) {
+// parse validates a request and returns what the front end needs from it.
+func parse(cfg *Settings, r *http.Request) (in parsedRequest, err *Error) {
 	if r.Method == http.MethodConnect {
-		return in, bad("method %s is not supported", r.Method)
+		return in, badRequest("method %s is not supported", r.Method)
 	}
-	if headerSize(r.Header) > cfg.MaxHeaderBytes {
-		return in, fail("parse", KindRequest, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than %d bytes", cfg.MaxHeaderBytes)
+	if headerBytes(r.Header) > cfg.MaxHeaderBytes {
+		return in, newError("parse", KindRequest, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than %d bytes", cfg.MaxHeaderBytes)
 	}
 	if r.ContentLength > cfg.MaxBodyBytes {
-		return in, fail("parse", KindRequest, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", cfg.MaxBodyBytes)
+		return in, newError("parse", KindRequest, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", cfg.MaxBodyBytes)
 	}
 	path, found := strings.CutPrefix(r.URL.Path, "/")
 	service, _, slash := strings.Cut(path, "/")
 	if !found || !slash || !model.ValidName(service) {
-		return in, bad("the path does not begin with /<service>/")
+		return in, badRequest("the path does not begin with /<service>/")
 	}
 	customers := r.Header[HeaderCustomer]
 	if len(customers) != 1 || !model.ValidName(customers[0]) {
-		return in, bad("%s must be given once and hold a name", HeaderCustomer)
+		return in, badRequest("%s must be given once and hold a name", HeaderCustomer)
 	}
 	in.customer, in.service = model.Customer(customers[0]), model.Pool(service)
 	if in.timeout, err = parseTimeout(cfg, r.Header[HeaderTimeout]); err != nil {
@@ -49,8 +49,8 @@
 	return in, err
 }
 
-func bad(format string, args ...any) *Error {
-	return fail("parse", KindRequest, http.StatusBadRequest, format, args...)
+func badRequest(format string, args ...any) *Error {
+	return newError("parse", KindRequest, http.StatusBadRequest, format, args...)
 }
 
 func parseTimeout(cfg *Settings, values []string) (clock.Millis, *Error) {
@@ -59,19 +59,20 @@
 	}
 	n, err := strconv.ParseUint(values[0], 10, 31)
 	if err != nil || n == 0 || len(values) > 1 {
-		return 0, bad("%s must be given once, as a number of ms above 0", HeaderTimeout)
+		return 0, badRequest("%s must be given once, as a number of ms above 0", HeaderTimeout)
 	}
 	return min(clock.Millis(n), cfg.MaxTimeout), nil
 }
 
-// parseKey returns the idempotency key when the method makes it count.
+// parseKey validates the idempotency key and returns it. For methods without
+// side effects it returns an empty key.
 func parseKey(r *http.Request) (string, *Error) {
 	keys := r.Header[HeaderIdempotencyKey]
 	if len(keys) == 0 {
 		return "", nil
 	}
-	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKey {
-		return "", bad("%s must be given once, with 1 to %d bytes", HeaderIdempotencyKey, maxKey)
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
+		return "", badRequest("%s must be given once, with 1 to %d bytes", HeaderIdempotencyKey, maxKeyBytes)
 	}
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
@@ -80,8 +81,9 @@
 	return keys[0], nil
 }
 
-// headerSize returns the size of the fields as net/http counts them.
-func headerSize(h http.Header) int {
+// headerBytes returns the size of the header fields as net/http counts it, with
+// 4 bytes per field for the colon, the space and the line break.
+func headerBytes(h http.Header) int {
 	n := 0
 	for k, vs := range h {
 		for _, v := range vs {
--- a/io/trans/front/raw_test.go
+++ b/io/trans/front/raw_test.go
@@ -11,18 +11,18 @@
 
 // raw is an upstream that answers byte by byte and counts how often each
 // request arrived. It closes the connection after each answer.
-type raw struct {
-	address string
-	mu      sync.Mutex
-	seen    map[string]int
+type scriptedUpstream struct {
+	address  string
+	mu       sync.Mutex
+	arrivals map[string]int
 }
 
-func newRaw(t testing.TB, write func(c net.Conn, r *http.Request)) *raw {
+func newScriptedUpstream(t testing.TB, write func(c net.Conn, r *http.Request)) *scriptedUpstream {
 	t.Helper()
-	u := &raw{seen: map[string]int{}}
+	u := &scriptedUpstream{arrivals: map[string]int{}}
 	u.address = upstream(t, func(w http.ResponseWriter, r *http.Request) {
 		u.mu.Lock()
-		u.seen[r.Header.Get("X-Mark")]++
+		u.arrivals[r.Header.Get("X-Mark")]++
 		u.mu.Unlock()
 		_, _ = io.Copy(io.Discard, r.Body)
 		c, _, err := http.NewResponseController(w).Hijack()
@@ -36,18 +36,18 @@
 	return u
 }
 
-func (u *raw) count(mark string) int {
+func (u *scriptedUpstream) count(mark string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.seen[mark]
+	return u.arrivals[mark]
 }
 
 // send writes s; a test that needs the bytes to arrive sees it by the answer.
-func send(c io.Writer, s string) { _, _ = io.WriteString(c, s) }
+func writeRaw(c io.Writer, s string) { _, _ = io.WriteString(c, s) }
 
 // answer writes a response and says that the connection is closed after it.
 // Without that, a request that is written while the connection is being closed
 // is rightly an unknown, and the tests would depend on which comes first.
-func answer(c io.Writer, s string) {
-	send(c, strings.Replace(s, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+func writeResponse(c io.Writer, s string) {
+	writeRaw(c, strings.Replace(s, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
 }
--- a/io/trans/front/reply.go
+++ b/io/trans/front/reply.go
@@ -10,18 +10,18 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// held is a whole response of an upstream.
-type held struct {
+// bufferedResponse is a complete response of an upstream.
+type bufferedResponse struct {
 	status int
 	header http.Header
 	body   []byte
-	// length is the declared length, which a response to HEAD has without a
-	// body; below 0 for none.
+	// length is the declared length, which a response to HEAD has although it
+	// has no body; negative if none was declared.
 	length int64
 }
 
-// deliver passes a whole response on.
-func (f *Handler[D, C]) deliver(x *exchange, r *held, outcome string) verdict {
+// deliver writes a complete upstream response to the caller.
+func (f *Handler[D, C]) deliver(x *exchange, r *bufferedResponse, outcome string) runResult {
 	h := x.w.Header()
 	copyHeader(h, r.header)
 	h[HeaderOutcome] = []string{outcome}
@@ -30,14 +30,15 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(r.body))}
 	}
 	x.w.WriteHeader(r.status)
-	// An error means that the caller is gone; the outcome stays what it is.
+	// An error means that the caller has disconnected, which does not change
+	// the outcome.
 	_, _ = x.w.Write(r.body)
 	if outcome == OutcomeNotRun {
 		f.counts.notRun.Add(1)
-		return verdict{notRun: true}
+		return runResult{notRun: true}
 	}
 	f.counts.ran.Add(1)
-	return verdict{status: r.status}
+	return runResult{status: r.status}
 }
 
 func bodyAllowed(status int) bool {
@@ -50,19 +51,20 @@
 	}
 }
 
-// refuse answers a request that did not run.
-func (f *Handler[D, C]) refuse(x *exchange, status int, reason string, after clock.Millis) {
+// replyRefused answers a request that did not run. A retryDelay of 0 sends no
+// Retry-After header.
+func (f *Handler[D, C]) replyRefused(x *exchange, status int, reason string, retryDelay clock.Millis) {
 	f.counts.notRun.Add(1)
-	if after > 0 {
-		x.w.Header().Set("Retry-After", strconv.FormatInt(retryAfter(after), 10))
+	if retryDelay > 0 {
+		x.w.Header().Set("Retry-After", strconv.FormatInt(retryAfterSeconds(retryDelay), 10))
 	}
 	f.reply(x, status, OutcomeNotRun, reason)
 }
 
-// unknown answers a request of which bytes were written and no whole response
-// came back.
-func (f *Handler[D, C]) unknown(x *exchange, k uplink.Kind) {
-	f.counts.unknown.Add(1)
+// replyUnknown answers a request of which bytes may have been written but for
+// which no complete, valid response was received.
+func (f *Handler[D, C]) replyUnknown(x *exchange, k uplink.Kind) {
+	f.counts.replyUnknown.Add(1)
 	status := http.StatusBadGateway
 	if k == uplink.KindTimeout {
 		status = http.StatusGatewayTimeout
@@ -70,9 +72,9 @@
 	f.reply(x, status, OutcomeUnknown, k.String())
 }
 
-// duplicate answers a request whose key was claimed before.
-func (f *Handler[D, C]) duplicate(x *exchange, a model.ClaimAnswer) {
-	f.counts.duplicate.Add(1)
+// replyDuplicate answers a request whose idempotency key is already claimed.
+func (f *Handler[D, C]) replyDuplicate(x *exchange, a model.ClaimAnswer) {
+	f.counts.replyDuplicate.Add(1)
 	first := OutcomeUnknown
 	switch a.FirstState {
 	case model.ClaimRunning:
@@ -85,7 +87,7 @@
 	f.reply(x, http.StatusConflict, OutcomeDuplicate, "the idempotency key was used before: "+first)
 }
 
-// reply writes a response of the front end's own.
+// reply writes a response that the front end itself creates.
 func (f *Handler[D, C]) reply(x *exchange, status int, outcome, reason string) {
 	h := x.w.Header()
 	h.Set(HeaderOutcome, outcome)
@@ -96,7 +98,8 @@
 	_, _ = io.WriteString(x.w, outcome+": "+reason+"\n")
 }
 
-// retryAfter returns the value of a Retry-After header, in whole seconds.
-func retryAfter(d clock.Millis) int64 {
+// retryAfterSeconds returns the value of a Retry-After header, rounded up to
+// whole seconds.
+func retryAfterSeconds(d clock.Millis) int64 {
 	return int64((d + clock.Second - 1) / clock.Second)
 }
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/rig_test.go
@@ -23,43 +23,43 @@
 type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // claims is an in-memory Claimer.
-type claims struct {
-	mu   sync.Mutex
-	held map[model.ClaimKey]model.ClaimOutcome
-	err  error
+type memoryClaimer struct {
+	mu       sync.Mutex
+	outcomes map[model.ClaimKey]model.ClaimOutcome
+	err      error
 }
 
-func (c *claims) Claim(_ context.Context, k model.ClaimKey, token string) (model.ClaimAnswer, error) {
+func (c *memoryClaimer) Claim(_ context.Context, k model.ClaimKey, token string) (model.ClaimAnswer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		return model.ClaimAnswer{}, c.err
 	}
-	if o, ok := c.held[k]; ok {
+	if o, ok := c.outcomes[k]; ok {
 		return model.ClaimAnswer{FirstState: o.State, Status: o.Status}, nil
 	}
-	c.held[k] = model.ClaimOutcome{Key: k, Token: token}
+	c.outcomes[k] = model.ClaimOutcome{Key: k, Token: token}
 	return model.ClaimAnswer{Granted: true}, nil
 }
 
-func (c *claims) Finish(o model.ClaimOutcome) {
+func (c *memoryClaimer) Finish(o model.ClaimOutcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o.NotRun {
-		delete(c.held, o.Key)
+		delete(c.outcomes, o.Key)
 		return
 	}
-	c.held[o.Key] = o
+	c.outcomes[o.Key] = o
 }
 
 // rig is an entry process without its neighbours and control.
-type rig struct {
-	gate   *dispatcher
-	link   *uplink.Client
-	claims *claims
-	front  *Handler[*dispatcher, *claims]
-	url    string
-	client *http.Client
+type testEntry struct {
+	dispatcher *dispatcher
+	upstreams  *uplink.Client
+	claims     *memoryClaimer
+	handler    *Handler[*dispatcher, *memoryClaimer]
+	url        string
+	client     *http.Client
 }
 
 func contract(name model.Customer, inFlight, queue, retry int) model.Contract {
@@ -71,38 +71,38 @@
 
 // newRig starts a front end whose pool svc has the given upstream addresses,
 // with the given slots each.
-func newRig(t testing.TB, slots int, contracts []model.Contract, addresses ...string) *rig {
+func newTestEntry(t testing.TB, slots int, contracts []model.Contract, addresses ...string) *testEntry {
 	t.Helper()
-	return newLendingRig(t, 0, slots, contracts, addresses...)
+	return newLendingTestEntry(t, 0, slots, contracts, addresses...)
 }
 
 // newLendingRig is newRig with a lease of loans; 0 for no lending.
-func newLendingRig(t testing.TB, lease clock.Millis, slots int, contracts []model.Contract, addresses ...string) *rig {
+func newLendingTestEntry(t testing.TB, lease clock.Millis, slots int, contracts []model.Contract, addresses ...string) *testEntry {
 	t.Helper()
 	clk := clock.Real()
 	self := model.Member{Name: "e1", Zone: "z1"}
-	g := &rig{claims: &claims{held: map[model.ClaimKey]model.ClaimOutcome{}}}
-	g.gate = entry.New(entry.Settings{
+	g := &testEntry{claims: &memoryClaimer{outcomes: map[model.ClaimKey]model.ClaimOutcome{}}}
+	g.dispatcher = entry.New(entry.Settings{
 		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
 		Lending:      lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
 		LoanMessages: ring.New[lend.Message](16),
 	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
-	g.link = uplink.New(uplink.Defaults(), clk)
-	g.front = New(Defaults(self.Name), clk, g.gate, g.claims, g.link)
+	g.upstreams = uplink.New(uplink.Defaults(), clk)
+	g.handler = New(Defaults(self.Name), clk, g.dispatcher, g.claims, g.upstreams)
 	ended := make(chan struct{}, 2)
-	go func() { _ = g.gate.Run(); ended <- struct{}{} }()
-	go func() { _ = g.link.Run(); ended <- struct{}{} }()
+	go func() { _ = g.dispatcher.Run(); ended <- struct{}{} }()
+	go func() { _ = g.upstreams.Run(); ended <- struct{}{} }()
 	d := model.Delta{To: 1, Full: true, Contracts: contracts}
 	for i := range addresses {
-		d.Instances = append(d.Instances, model.Instance{ID: id(i), Zone: self.Zone, Pool: "svc", Slots: slots, Connections: 64, Version: 1})
+		d.Instances = append(d.Instances, model.Instance{ID: instanceID(i), Zone: self.Zone, Pool: "svc", Slots: slots, Connections: 64, Version: 1})
 	}
-	assert.NilError(t, g.gate.ApplyDelta(d))
+	assert.NilError(t, g.dispatcher.ApplyDelta(d))
 	for i, a := range addresses {
 		g.announce(t, i, a, slots)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	srv := NewServer(g.front, g.front.cfg.MaxHeaderBytes)
+	srv := NewServer(g.handler, g.handler.cfg.MaxHeaderBytes)
 	go func() { _ = srv.Serve(l) }()
 	renew := time.NewTicker(time.Second)
 	stop := make(chan struct{})
@@ -111,7 +111,7 @@
 			select {
 			case <-renew.C:
 				for i, a := range addresses {
-					_ = g.gate.Announce(announcement(i, a, slots))
+					_ = g.dispatcher.Announce(announcement(i, a, slots))
 				}
 			case <-stop:
 				return
@@ -125,30 +125,30 @@
 		close(stop)
 		g.client.CloseIdleConnections()
 		_ = srv.Shutdown(5 * clock.Second)
-		g.link.Stop()
-		g.gate.Stop()
+		g.upstreams.Stop()
+		g.dispatcher.Stop()
 		<-ended
 		<-ended
 	})
 	return g
 }
 
-func id(i int) model.InstanceID { return model.InstanceID("i" + string(rune('a'+i))) }
+func instanceID(i int) model.InstanceID { return model.InstanceID("i" + string(rune('a'+i))) }
 
 func announcement(i int, address string, slots int) model.Announcement {
 	return model.Announcement{
-		Instance: id(i), Zone: "z1", Pool: "svc", Address: address,
+		Instance: instanceID(i), Zone: "z1", Pool: "svc", Address: address,
 		Slots: slots, Connections: 64, Incarnation: 1, HealthPath: "/health",
 	}
 }
 
-func (g *rig) announce(t testing.TB, i int, address string, slots int) {
+func (g *testEntry) announce(t testing.TB, i int, address string, slots int) {
 	t.Helper()
-	assert.NilError(t, g.gate.Announce(announcement(i, address, slots)))
+	assert.NilError(t, g.dispatcher.Announce(announcement(i, address, slots)))
 }
 
 // request builds a request of a customer.
-func (g *rig) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
+func (g *testEntry) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
 	t.Helper()
 	r, err := http.NewRequest(method, g.url+"/svc/x", reader(body))
 	assert.NilError(t, err)
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -11,21 +11,22 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// tried is the result of one try.
-type tried struct {
-	verdict verdict
-	// again says that the request provably did not run and may be tried again;
-	// nothing was written to the caller then, and reason says what happened.
-	again  bool
-	reason string
+// attemptResult is the result of one attempt.
+type attemptResult struct {
+	result runResult
+	// mayRetry is true if the request certainly did not run and another
+	// attempt is allowed. Nothing has been written to the caller then, and
+	// reason says what happened.
+	mayRetry bool
+	reason   string
 }
 
-// send makes one try under a grant and gives the grant back as soon as the
-// upstream has nothing more to do with it.
-func (f *Handler[D, C]) send(x *exchange, g entry.Grant, mayRetry bool) tried {
-	begun := f.clk.Now()
-	body := &outbound{head: x.body.head, rest: x.body.rest, limit: x.body.limit}
-	end := func(o entry.Outcome) { f.gate.Done(g.Ticket, o, f.clk.Now()-begun) }
+// send makes one attempt under a grant and returns the grant as soon as the
+// upstream is done with the request.
+func (f *Handler[D, C]) send(x *exchange, g entry.Grant, mayRetry bool) attemptResult {
+	started := f.clk.Now()
+	body := &attemptBody{head: x.body.head, rest: x.body.rest, restLimit: x.body.restLimit}
+	finishGrant := func(o entry.Outcome) { f.dispatcher.Done(g.Ticket, o, f.clk.Now()-started) }
 	up := uplink.Upstream{
 		Name: string(g.Upstream.Instance), WriteDeadline: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
 		MaxConnections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
@@ -33,66 +34,66 @@
 	if g.Upstream.LoanName != "" {
 		up.Name = g.Upstream.LoanName
 	}
-	resp, res, err := f.link.Do(x.ctx, up, f.outgoing(x, body))
+	resp, res, err := f.client.Do(x.ctx, up, f.upstreamRequest(x, body))
 	if err != nil {
 		streamed := body.detach()
-		end(outcomeOf(x.ctx, res))
+		finishGrant(attemptOutcome(x.ctx, res))
 		if !res.NotRun {
-			f.unknown(x, res.Kind)
-			return tried{}
+			f.replyUnknown(x, res.Kind)
+			return attemptResult{}
 		}
 		if mayRetry && !streamed && x.ctx.Err() == nil {
-			return tried{again: true, reason: "the upstream could not be reached: " + res.Kind.String()}
+			return attemptResult{mayRetry: true, reason: "the upstream could not be reached: " + res.Kind.String()}
 		}
-		f.refuse(x, http.StatusServiceUnavailable, "the upstream could not be reached: "+res.Kind.String(), clock.Second)
-		return tried{verdict: verdict{notRun: true}}
+		f.replyRefused(x, http.StatusServiceUnavailable, "the upstream could not be reached: "+res.Kind.String(), clock.Second)
+		return attemptResult{result: runResult{notRun: true}}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return f.receive(x, resp, res, body, end, mayRetry)
+	return f.receive(x, resp, res, body, finishGrant, mayRetry)
 }
 
-// receive takes the response in, whole when it fits the buffer, and passes it
-// on.
-func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *outbound, end func(entry.Outcome), mayRetry bool) tried {
-	buf := f.buffer(resp.ContentLength)
-	defer f.release(buf)
+// receive reads the response and delivers it to the caller: buffered if it is
+// smaller than the buffer, streamed otherwise.
+func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *attemptBody, finishGrant func(entry.Outcome), mayRetry bool) attemptResult {
+	buf := f.getBuffer(resp.ContentLength)
+	defer f.putBuffer(buf)
 	n, err := 0, error(io.EOF)
 	if resp.Body != http.NoBody {
 		n, err = readUpTo(resp.Body, *buf)
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		body.detach()
-		kind := kindOf(err)
-		end(outcomeOf(x.ctx, uplink.Result{Kind: kind}))
-		f.unknown(x, kind)
-		return tried{}
+		kind := failureKind(err)
+		finishGrant(attemptOutcome(x.ctx, uplink.Result{Kind: kind}))
+		f.replyUnknown(x, kind)
+		return attemptResult{}
 	}
 	if err == nil {
-		return f.stream(x, resp, res.NotRun, (*buf)[:n], body, end)
+		return f.stream(x, resp, res.NotRun, (*buf)[:n], body, finishGrant)
 	}
 	streamed := body.detach()
 	switch {
 	case res.NotRun:
-		end(entry.OutcomeBusy)
+		finishGrant(entry.OutcomeBusy)
 	case resp.StatusCode >= http.StatusInternalServerError:
-		end(entry.OutcomeError)
+		finishGrant(entry.OutcomeError)
 	default:
-		end(entry.OutcomeOK)
+		finishGrant(entry.OutcomeOK)
 	}
-	h := &held{status: resp.StatusCode, header: resp.Header, body: (*buf)[:n], length: resp.ContentLength}
+	h := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: (*buf)[:n], length: resp.ContentLength}
 	if !res.NotRun {
-		return tried{verdict: f.deliver(x, h, OutcomeRan)}
+		return attemptResult{result: f.deliver(x, h, OutcomeRan)}
 	}
 	if mayRetry && !streamed && x.ctx.Err() == nil {
 		h.body = append([]byte(nil), h.body...)
 		x.fallback = h
-		return tried{again: true, reason: "the upstream did not run the request"}
+		return attemptResult{mayRetry: true, reason: "the upstream did not run the request"}
 	}
-	return tried{verdict: f.deliver(x, h, OutcomeNotRun)}
+	return attemptResult{result: f.deliver(x, h, OutcomeNotRun)}
 }
 
-// readUpTo reads until the buffer is full, which is a nil error, or the body
-// ends, which is io.EOF.
+// readUpTo reads until the buffer is full or r ends. It returns a nil error for
+// a full buffer, and io.EOF at the end of r.
 func readUpTo(r io.Reader, buf []byte) (n int, err error) {
 	for n < len(buf) && err == nil {
 		var k int
@@ -102,17 +103,18 @@
 	return n, err
 }
 
-// stream passes on a response that is larger than the buffer. A response that
-// ends early aborts the caller's connection, so that the caller sees it.
-func (f *Handler[D, C]) stream(x *exchange, resp *http.Response, notRun bool, first []byte, body *outbound, end func(entry.Outcome)) tried {
+// stream forwards a response that does not fit the buffer. If the response ends
+// early, stream panics with http.ErrAbortHandler to abort the caller's
+// connection, so that the caller notices the truncation.
+func (f *Handler[D, C]) stream(x *exchange, resp *http.Response, notRun bool, first []byte, body *attemptBody, finishGrant func(entry.Outcome)) attemptResult {
 	outcome := entry.OutcomeUnknown
 	defer func() {
 		body.detach()
-		end(outcome)
+		finishGrant(outcome)
 	}()
-	// A caller that does not read is cut off at the deadline.
+	// Interrupts the write to a caller that does not read, at the deadline.
 	stop := context.AfterFunc(x.ctx, func() {
-		_ = http.NewResponseController(x.w).SetWriteDeadline(past)
+		_ = http.NewResponseController(x.w).SetWriteDeadline(expiredDeadline)
 	})
 	defer stop()
 	h := x.w.Header()
@@ -135,27 +137,27 @@
 			outcome = entry.OutcomeCancelled
 		}
 		f.counts.aborted.Add(1)
-		f.counts.unknown.Add(1)
+		f.counts.replyUnknown.Add(1)
 		panic(http.ErrAbortHandler)
 	}
 	if notRun {
 		outcome = entry.OutcomeBusy
 		f.counts.notRun.Add(1)
-		return tried{verdict: verdict{notRun: true}}
+		return attemptResult{result: runResult{notRun: true}}
 	}
 	outcome = entry.OutcomeOK
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = entry.OutcomeError
 	}
 	f.counts.ran.Add(1)
-	return tried{verdict: verdict{status: resp.StatusCode}}
+	return attemptResult{result: runResult{status: resp.StatusCode}}
 }
 
-// writerOnly hides the ReadFrom method of a response writer, whose errors do
-// not tell which side failed.
+// writerOnly hides the ReadFrom method of a response writer, because its errors
+// do not say whether the read or the write failed.
 type writerOnly struct{ io.Writer }
 
-func kindOf(err error) uplink.Kind {
+func failureKind(err error) uplink.Kind {
 	var e *uplink.Error
 	if errors.As(err, &e) {
 		return e.Kind
@@ -163,8 +165,9 @@
 	return uplink.KindTruncated
 }
 
-// outcomeOf tells the dispatcher how a try without a response ended.
-func outcomeOf(ctx context.Context, res uplink.Result) entry.Outcome {
+// attemptOutcome returns the outcome to report to the dispatcher for an attempt
+// without a response.
+func attemptOutcome(ctx context.Context, res uplink.Result) entry.Outcome {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) || res.Kind == uplink.KindCancelled:
 		return entry.OutcomeCancelled
@@ -178,8 +181,8 @@
 	return entry.OutcomeUnknown
 }
 
-// outgoing builds the request of one try.
-func (f *Handler[D, C]) outgoing(x *exchange, body *outbound) *http.Request {
+// upstreamRequest builds the request of one attempt.
+func (f *Handler[D, C]) upstreamRequest(x *exchange, body *attemptBody) *http.Request {
 	out := &http.Request{
 		Method: x.r.Method, URL: x.r.URL, Header: x.r.Header, Host: x.r.Host,
 		ContentLength: x.body.size,
--- a/io/trans/front/truth_test.go
+++ b/io/trans/front/truth_test.go
@@ -15,7 +15,7 @@
 
 // Guards against a not-run for a request that reached an upstream, and against
 // one that reached it twice, while deadlines pass in every phase.
-func TestOverloadIsTruthful(t *testing.T) {
+func TestOutcomesMatchArrivalsUnderOverload(t *testing.T) {
 	var mu sync.Mutex
 	arrived := map[string]int{}
 	handler := func(w http.ResponseWriter, r *http.Request) {
@@ -25,7 +25,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(5 * time.Millisecond)
 	}
-	g := newRig(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
+	g := newTestEntry(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
 	outcomes := map[string]string{}
 	var wg sync.WaitGroup
 	for w := range 32 {
@@ -46,7 +46,7 @@
 		})
 	}
 	wg.Wait()
-	g.idle(t)
+	g.waitIdle(t)
 	mu.Lock()
 	defer mu.Unlock()
 	for mark, o := range outcomes {
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -10,7 +10,7 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// The headers of the front end.
+// The headers that the front end reads and writes.
 const (
 	HeaderCustomer       = "Camphorridge-Customer"
 	HeaderTimeout        = "Camphorridge-Timeout-Ms"
@@ -29,21 +29,22 @@
 	OutcomeDuplicate = "duplicate"
 )
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindRequest: the request is malformed or beyond a bound.
+	// KindRequest: the request is malformed or exceeds a size limit.
 	KindRequest Kind = iota
 	// KindBody: the caller's body could not be read.
 	KindBody
-	// KindServe: the listener failed, or in-flight requests outlasted the
-	// bound of a shutdown.
+	// KindServe: the listener failed, or requests were still in flight at the
+	// end of the shutdown timeout.
 	KindServe
 )
 
-// Error is an error of the package. Status is the HTTP status for the caller.
+// Error is the error type of the package. Op is the operation that failed, and
+// Status is the HTTP status code for the caller; 0 without one.
 type Error struct {
 	Op     string
 	Kind   Kind
@@ -51,48 +52,55 @@
 	Err    error
 }
 
-// Error returns the operation and the reason.
+// Error returns the operation and the cause.
 func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
 
-// Unwrap returns the reason.
+// Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-func fail(op string, k Kind, status int, format string, args ...any) *Error {
+func newError(op string, k Kind, status int, format string, args ...any) *Error {
 	return &Error{Op: op, Kind: k, Status: status, Err: fmt.Errorf(format, args...)}
 }
 
-// Dispatcher grants and refuses requests; entry.Dispatcher is the real one.
+// Dispatcher grants upstream slots to requests or refuses them. The production
+// implementation is entry.Dispatcher.
 type Dispatcher interface {
 	Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal)
 	Done(t entry.Ticket, o entry.Outcome, elapsed clock.Millis)
 }
 
-// Claimer grants the sole right to run a request with an idempotency key.
+// Claimer grants the exclusive right to run a request with an idempotency key.
 type Claimer interface {
-	// Claim returns whether the attempt with this token may run. After an
-	// error the claim may or may not be held.
+	// Claim returns whether the request with this token may run. After an
+	// error the claim may or may not have been granted.
 	Claim(ctx context.Context, key model.ClaimKey, token string) (model.ClaimAnswer, error)
-	// Finish records the outcome, or releases the claim. It must not wait.
+	// Finish records the outcome, or releases the claim if the request did
+	// not run. It must not block.
 	Finish(o model.ClaimOutcome)
 }
 
-// Settings of the front end.
+// Settings configures the front end.
 type Settings struct {
 	Self model.Process
-	// Timeout is the default of HeaderTimeout and MaxTimeout its bound.
+	// DefaultTimeout applies to requests without HeaderTimeout. MaxTimeout is
+	// the upper limit of the header's value.
 	DefaultTimeout, MaxTimeout clock.Millis
-	// Buffer is the size up to which bodies are held as a whole, both ways.
+	// BufferBytes is the size up to which request and response bodies are
+	// buffered whole; larger ones are streamed.
 	BufferBytes int
-	// MaxBody bounds the body of a request, and MaxHeader its header.
+	// MaxBodyBytes bounds the body of a request, and MaxHeaderBytes its
+	// header.
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
-	// Body bounds the reading of the buffered part of a request.
+	// BodyReadTimeout bounds the reading of the buffered part of a request
+	// body.
 	BodyReadTimeout clock.Millis
-	// Tries bounds the tries of one request, the first included.
+	// MaxAttempts bounds the attempts to send one request, including the
+	// first.
 	MaxAttempts int
 }
 
-// Defaults returns the settings of the design page.
+// Defaults returns the default settings of the process self.
 func Defaults(self model.Process) Settings {
 	return Settings{
 		Self:            self,
@@ -106,7 +114,7 @@
 	}
 }
 
-// Counts are the counters of the front end; they only grow.
+// Counts holds the counters of the front end; they never decrease.
 type Counts struct {
 	Ran, NotRun, Unknown, Duplicate, Aborted, Retries int64
 }
--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -19,41 +19,41 @@
 	// infoBytes is the number of bytes a second that lines of level info may
 	// take, and infoBurst what they may take at once. Lines of higher levels
 	// are bound by the ring alone.
-	infoBytes = 64 << 10
-	infoBurst = 256 << 10
+	infoBytesPerSecond = 64 << 10
+	infoBurstBytes     = 256 << 10
 	// reportInterval separates two lines about dropped lines.
 	reportInterval = clock.Second
 )
 
-var infoMark = []byte("level=info")
+var infoLevelField = []byte("level=info")
 
 // Async is a writer that never waits for its reader: one goroutine writes the
 // lines out, and lines beyond the budget are dropped and counted.
 type Async struct {
-	out     io.Writer
-	clock   clock.Clock
-	lines   *ring.Ring[[]byte]
-	dropped atomic.Int64
-	done    chan struct{}
-	ended   chan struct{}
-	once    sync.Once
+	out       io.Writer
+	clock     clock.Clock
+	lines     *ring.Ring[[]byte]
+	dropped   atomic.Int64
+	done      chan struct{}
+	finished  chan struct{}
+	closeOnce sync.Once
 
 	mu sync.Mutex
 	// left is the part of the budget that is not used yet, as of at.
-	left int
-	at   clock.Millis
+	budgetBytes int
+	refilledAt  clock.Millis
 
 	// told is the number of dropped lines that was reported, as of toldAt; run
 	// alone touches both.
-	told   int64
-	toldAt clock.Millis
+	reported   int64
+	reportedAt clock.Millis
 }
 
 // NewAsync returns a writer to out.
 func NewAsync(out io.Writer, c clock.Clock) *Async {
 	a := &Async{
-		out: out, clock: c, lines: ring.New[[]byte](ringLines), left: infoBurst, at: c.Now(),
-		done: make(chan struct{}), ended: make(chan struct{}),
+		out: out, clock: c, lines: ring.New[[]byte](ringLines), budgetBytes: infoBurstBytes, refilledAt: c.Now(),
+		done: make(chan struct{}), finished: make(chan struct{}),
 	}
 	go a.run()
 	return a
@@ -69,28 +69,28 @@
 
 // admit reports whether a line is within the budget.
 func (a *Async) admit(line []byte) bool {
-	if !bytes.Contains(line, infoMark) {
+	if !bytes.Contains(line, infoLevelField) {
 		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
-	a.left = min(infoBurst, a.left+int(now-a.at)*infoBytes/int(clock.Second))
-	a.at = now
-	if a.left < len(line) {
+	a.budgetBytes = min(infoBurstBytes, a.budgetBytes+int(now-a.refilledAt)*infoBytesPerSecond/int(clock.Second))
+	a.refilledAt = now
+	if a.budgetBytes < len(line) {
 		return false
 	}
-	a.left -= len(line)
+	a.budgetBytes -= len(line)
 	return true
 }
 
 // report writes a line about dropped lines, at most one each interval.
 func (a *Async) report() {
 	n, now := a.dropped.Load(), a.clock.Now()
-	if n == a.told || now-a.toldAt < reportInterval && a.toldAt != 0 {
+	if n == a.reported || now-a.reportedAt < reportInterval && a.reportedAt != 0 {
 		return
 	}
-	a.told, a.toldAt = n, now
+	a.reported, a.reportedAt = n, now
 	a.write(fmt.Appendf(nil, "level=warn msg=log-lines-dropped total=%d\n", n))
 }
 
@@ -99,15 +99,15 @@
 
 // Close writes what waits, as far as the reader takes it within a second.
 func (a *Async) Close() {
-	a.once.Do(func() { close(a.done) })
+	a.closeOnce.Do(func() { close(a.done) })
 	select {
-	case <-a.ended:
+	case <-a.finished:
 	case <-a.clock.After(clock.Second):
 	}
 }
 
 func (a *Async) run() {
-	defer close(a.ended)
+	defer close(a.finished)
 	for {
 		select {
 		case line := <-a.lines.C():
--- a/io/trans/logs/async_test.go
+++ b/io/trans/logs/async_test.go
@@ -12,23 +12,23 @@
 )
 
 // blocked is a reader that takes nothing until it is let go.
-type blocked struct {
-	gate chan struct{}
-	mu   sync.Mutex
-	got  bytes.Buffer
+type blockedWriter struct {
+	unblock chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
 }
 
-func (b *blocked) Write(p []byte) (int, error) {
-	<-b.gate
+func (b *blockedWriter) Write(p []byte) (int, error) {
+	<-b.unblock
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.got.Write(p)
+	return b.written.Write(p)
 }
 
 // TestBlockedReader guards against a request that waits for a reader of the
 // log that has stopped reading: lines are dropped and counted.
 func TestBlockedReader(t *testing.T) {
-	out := &blocked{gate: make(chan struct{})}
+	out := &blockedWriter{unblock: make(chan struct{})}
 	a := NewAsync(out, clock.Real())
 	const lines = 2 * ringLines
 	for range lines {
@@ -36,11 +36,11 @@
 		assert.NilError(t, err)
 	}
 	assert.Assert(t, a.Dropped() >= lines-ringLines-2)
-	close(out.gate)
+	close(out.unblock)
 	a.Close()
 	out.mu.Lock()
 	defer out.mu.Unlock()
-	assert.Assert(t, strings.Contains(out.got.String(), "msg=log-lines-dropped"))
+	assert.Assert(t, strings.Contains(out.written.String(), "msg=log-lines-dropped"))
 }
 
 // TestInfoBudget guards against a log whose volume grows with the load, and
@@ -50,7 +50,7 @@
 	fake := clock.NewFake(0)
 	a := NewAsync(&out, fake.Clock())
 	line := []byte("level=info " + strings.Repeat("x", 1000) + "\n")
-	for range 2 * infoBurst / len(line) {
+	for range 2 * infoBurstBytes / len(line) {
 		_, _ = a.Write(line)
 	}
 	dropped := a.Dropped()
@@ -60,7 +60,7 @@
 	fake.Advance(clock.Second)
 	_, _ = a.Write(line)
 	assert.Equal(t, a.Dropped(), dropped, "the budget comes back with time")
-	a.once.Do(func() { close(a.done) })
-	<-a.ended
+	a.closeOnce.Do(func() { close(a.done) })
+	<-a.finished
 	assert.Assert(t, strings.Contains(out.String(), "msg=kept"))
 }
