--- a/io/trans/front/bench_test.go
+++ b/io/trans/front/bench_test.go
@@ -23,7 +23,7 @@
 // callers is the number of connections of the throughput benchmarks.
 const callers = 64
 
-// caller is one connection that sends the same request again and again.
+// caller is one connection that sends the same request repeatedly.
 type caller struct {
 	conn  net.Conn
 	in    *bufio.Reader
@@ -37,7 +37,7 @@
 	return &caller{conn: c, in: bufio.NewReader(c), bytes: []byte("POST /svc/x HTTP/1.1\r\nHost: svc\r\n" + header + "Content-Length: 5\r\n\r\nhello")}
 }
 
-// call sends one request and returns the outcome header.
+// call sends one request and returns the outcome header of its response.
 func (c *caller) call() (outcome string, err error) {
 	if _, err = c.conn.Write(c.bytes); err != nil {
 		return "", err
@@ -50,8 +50,8 @@
 	return resp.Header.Get(HeaderOutcome), err
 }
 
-// burst sends n requests over the callers and returns the requests a second
-// and the median latency.
+// burst sends n requests in total over the callers. It returns the rate in
+// requests per second and the median latency in microseconds.
 func burst(b testing.TB, cs []*caller, n int) (rate, medianMicros float64) {
 	var left atomic.Int64
 	left.Store(int64(n))
@@ -86,29 +86,30 @@
 	return v[len(v)/2]
 }
 
-// BenchmarkAgainstReverseProxy compares the front end with the standard
-// library's proxy and with a direct call, in alternating rounds of 20,000
-// requests over 64 connections and 2,000 over one; medians of the rounds are reported.
+// BenchmarkAgainstReverseProxy compares the front end with the reverse proxy of
+// the standard library and with direct calls, in alternating rounds of 20,000
+// requests over 64 connections and 2,000 over one. It reports the medians of the
+// rounds.
 func BenchmarkAgainstReverseProxy(b *testing.B) {
 	answer := make([]byte, 256)
-	up := upstream(b, func(w http.ResponseWriter, r *http.Request) {
+	upstreamAddress := upstream(b, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = w.Write(answer)
 	})
-	g := newTestEntry(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
-	target := &url.URL{Scheme: "http", Host: up}
+	g := newTestEntry(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, upstreamAddress)
+	target := &url.URL{Scheme: "http", Host: upstreamAddress}
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
-	ps := httptest.NewServer(proxy)
-	b.Cleanup(ps.Close)
+	proxyServer := httptest.NewServer(proxy)
+	b.Cleanup(proxyServer.Close)
 	sides := []struct {
 		name, address string
 		callers       []*caller
 		rates, times  []float64
 		single        []float64
 	}{
-		{name: "direct", address: up},
-		{name: "proxy", address: ps.Listener.Addr().String()},
+		{name: "direct", address: upstreamAddress},
+		{name: "proxy", address: proxyServer.Listener.Addr().String()},
 		{name: "front", address: g.url[len("http://"):]},
 	}
 	for i := range sides {
@@ -122,10 +123,10 @@
 	for range b.N {
 		for i := range sides {
 			s := &sides[i]
-			rate, median := burst(b, s.callers, 20_000)
-			s.rates, s.times = append(s.rates, rate), append(s.times, median)
-			_, median = burst(b, s.callers[:1], 2000)
-			s.single = append(s.single, median)
+			rate, micros := burst(b, s.callers, 20_000)
+			s.rates, s.times = append(s.rates, rate), append(s.times, micros)
+			_, micros = burst(b, s.callers[:1], 2000)
+			s.single = append(s.single, micros)
 		}
 	}
 	for i := range sides {
@@ -137,28 +138,28 @@
 	b.ReportMetric(median(sides[2].rates)/median(sides[1].rates), "front/proxy")
 }
 
-// BenchmarkUnusedLending compares the request path with lending off, and on
-// without another process to lend from. Both take turns, and medians are
-// reported, as the machine's speed varies.
+// BenchmarkUnusedLending compares the throughput with lending disabled and with
+// lending enabled but no other process to borrow from. The two alternate, and
+// medians are reported, because the speed of the machine varies.
 func BenchmarkUnusedLending(b *testing.B) {
 	answer := make([]byte, 256)
 	up := upstream(b, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = w.Write(answer)
 	})
-	var sides [2][]*caller
+	var callersBySide [2][]*caller
 	var rates [2][]float64
 	for i, lease := range []clock.Millis{0, 2 * clock.Second} {
 		g := newLendingTestEntry(b, lease, callers/2, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
 		for range callers {
-			sides[i] = append(sides[i], dialCaller(b, g.url[len("http://"):], HeaderCustomer+": acme\r\n"))
+			callersBySide[i] = append(callersBySide[i], dialCaller(b, g.url[len("http://"):], HeaderCustomer+": acme\r\n"))
 		}
-		burst(b, sides[i], 5000)
+		burst(b, callersBySide[i], 5000)
 	}
 	b.ResetTimer()
 	for range b.N {
 		for i, name := range []string{"off", "on"} {
-			rate, _ := burst(b, sides[i], 10_000)
+			rate, _ := burst(b, callersBySide[i], 10_000)
 			rates[i] = append(rates[i], rate)
 			slices.Sort(rates[i])
 			b.ReportMetric(rates[i][len(rates[i])/2], name+"-requests/s")
--- a/io/trans/front/rig_test.go
+++ b/io/trans/front/helpers_test.go
@@ -22,7 +22,7 @@
 
 type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
-// claims is an in-memory Claimer.
+// memoryClaimer is an in-memory Claimer.
 type memoryClaimer struct {
 	mu       sync.Mutex
 	outcomes map[model.ClaimKey]model.ClaimOutcome
@@ -52,7 +52,7 @@
 	c.outcomes[o.Key] = o
 }
 
-// rig is an entry process without its neighbours and control.
+// testEntry is an entry process without peers and without a control process.
 type testEntry struct {
 	dispatcher *dispatcher
 	upstreams  *uplink.Client
@@ -69,14 +69,15 @@
 	}
 }
 
-// newRig starts a front end whose pool svc has the given upstream addresses,
-// with the given slots each.
+// newTestEntry starts a front end whose pool svc has an upstream at each of the
+// given addresses, with the given number of slots each.
 func newTestEntry(t testing.TB, slots int, contracts []model.Contract, addresses ...string) *testEntry {
 	t.Helper()
 	return newLendingTestEntry(t, 0, slots, contracts, addresses...)
 }
 
-// newLendingRig is newRig with a lease of loans; 0 for no lending.
+// newLendingTestEntry is newTestEntry with the lease duration of loans; 0
+// disables lending.
 func newLendingTestEntry(t testing.TB, lease clock.Millis, slots int, contracts []model.Contract, addresses ...string) *testEntry {
 	t.Helper()
 	clk := clock.Real()
@@ -147,7 +148,7 @@
 	assert.NilError(t, g.dispatcher.Announce(announcement(i, address, slots)))
 }
 
-// request builds a request of a customer.
+// request builds a request of a customer. header alternates names and values.
 func (g *testEntry) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
 	t.Helper()
 	r, err := http.NewRequest(method, g.url+"/svc/x", reader(body))
--- a/io/trans/front/load_test.go
+++ b/io/trans/front/load_test.go
@@ -12,16 +12,19 @@
 )
 
 const (
-	// service is the run time of a request on the upstreams of the load
-	// benchmarks, which have loadSlots slots each.
+	// serviceTime is the run time of a request on the upstreams of the load
+	// benchmarks, of which there are upstreamCount with slotsPerUpstream slots
+	// each.
 	serviceTime      = 20 * time.Millisecond
 	slotsPerUpstream = 8
 	upstreamCount    = 4
-	// capacity is what the slots can run in a second.
+	// capacityPerSecond is the number of requests that all slots can run in a
+	// second.
 	capacityPerSecond = float64(upstreamCount*slotsPerUpstream) / 0.020
 )
 
-// load is the upstreams and the sum of what they saw.
+// loadUpstreams counts, over all upstreams of a benchmark, the requests that
+// arrived and those that arrived while all slots were busy.
 type loadUpstreams struct {
 	arrived, overSlots atomic.Int64
 }
@@ -46,17 +49,19 @@
 	return out
 }
 
-// result is what one customer got in a run.
+// customerResult holds the outcomes of one customer's requests in a run.
 type customerResult struct {
 	sent, ran, notRun, other int
-	// intime is the part of ran that was answered within the run.
+	// inTime counts the requests of ran that were answered before the end of
+	// the run.
 	inTime int
-	// refusals are the times to a refusal, in ascending order.
+	// refusals holds the latencies of refusals, in ascending order.
 	refusals []time.Duration
 }
 
-// offer sends requests at a rate for a time, from as many connections as
-// needed to keep it up when each request takes up to the timeout.
+// offerLoad sends requests at the given rate per second for the duration d. It
+// uses enough connections to sustain the rate when each request takes up to the
+// timeout, which is in milliseconds.
 func offerLoad(b testing.TB, g *testEntry, customer string, rate float64, timeout string, d time.Duration) *customerResult {
 	n := int(rate/4) + 1
 	var mu sync.Mutex
@@ -70,36 +75,36 @@
 			time.Sleep(interval * time.Duration(k) / time.Duration(n))
 			tick := time.NewTicker(interval)
 			defer tick.Stop()
-			mine := customerResult{}
+			own := customerResult{}
 			for time.Now().Before(end) {
 				started := time.Now()
 				outcome, err := c.call()
-				mine.sent++
+				own.sent++
 				switch {
 				case err != nil:
 					b.Error(err)
 					return
 				case outcome == OutcomeRan:
-					mine.ran++
+					own.ran++
 					if time.Now().Before(end) {
-						mine.inTime++
+						own.inTime++
 					}
 				case outcome == OutcomeNotRun:
-					mine.notRun++
-					mine.refusals = append(mine.refusals, time.Since(started))
+					own.notRun++
+					own.refusals = append(own.refusals, time.Since(started))
 				default:
-					mine.other++
+					own.other++
 				}
 				<-tick.C
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			r.sent += mine.sent
-			r.ran += mine.ran
-			r.inTime += mine.inTime
-			r.notRun += mine.notRun
-			r.other += mine.other
-			r.refusals = append(r.refusals, mine.refusals...)
+			r.sent += own.sent
+			r.ran += own.ran
+			r.inTime += own.inTime
+			r.notRun += own.notRun
+			r.other += own.other
+			r.refusals = append(r.refusals, own.refusals...)
 		})
 	}
 	wg.Wait()
@@ -114,21 +119,21 @@
 	return float64(v[int(q*float64(len(v)-1))].Microseconds()) / 1000
 }
 
-// BenchmarkGoodput offers 1, 2 and 5 times what the slots can run, for 3 s
+// BenchmarkGoodput measures the goodput at 1, 2 and 5 times the capacity, for 3 s
 // each, with a timeout of 200 ms.
 func BenchmarkGoodput(b *testing.B) {
-	for _, times := range []struct {
+	for _, load := range []struct {
 		name string
 		by   float64
 	}{{"1x", 1}, {"2x", 2}, {"5x", 5}} {
-		b.Run(times.name, func(b *testing.B) {
+		b.Run(load.name, func(b *testing.B) {
 			l := &loadUpstreams{}
 			g := newTestEntry(b, slotsPerUpstream, []model.Contract{contract("acme", 1000, 400, 10)}, l.start(b)...)
 			offerLoad(b, g, "acme", capacityPerSecond, "200", time.Second)
 			b.ResetTimer()
 			for range b.N {
 				l.arrived.Store(0)
-				r := offerLoad(b, g, "acme", capacityPerSecond*times.by, "200", 3*time.Second)
+				r := offerLoad(b, g, "acme", capacityPerSecond*load.by, "200", 3*time.Second)
 				b.ReportMetric(float64(r.inTime)/(capacityPerSecond*3), "goodput/capacity")
 				b.ReportMetric(float64(r.sent)/(capacityPerSecond*3), "offered/capacity")
 				b.ReportMetric(float64(r.other), "unknown")
@@ -142,8 +147,8 @@
 	}
 }
 
-// BenchmarkFlood offers 0.45 of the capacity for one customer, while another
-// with an equal contract floods the pool with 5 times the capacity.
+// BenchmarkFlood measures what one customer gets that offers 0.45 of the capacity
+// while another with an equal contract floods the pool with 5 times the capacity.
 func BenchmarkFlood(b *testing.B) {
 	l := &loadUpstreams{}
 	contracts := []model.Contract{contract("calm", 100, 400, 10), contract("flood", 100, 400, 10)}
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -23,8 +23,8 @@
 
 const largeBodyBytes = 300 << 10
 
-// Guards against outcomes that do not say what happened. The upstream's count
-// of arrivals is the judge.
+// Guards against outcomes that do not match what happened at the upstream, and
+// against wrong records of idempotency keys. The upstream counts the arrivals.
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -90,7 +90,7 @@
 	return o, ok
 }
 
-// idle waits until no request holds a slot.
+// waitIdle waits until no request holds a slot and returns the status then.
 func (g *testEntry) waitIdle(t testing.TB) entry.Status {
 	t.Helper()
 	var s entry.Status
@@ -98,13 +98,13 @@
 		if s = g.dispatcher.Snapshot(); s.Counts.Completed == s.Counts.Grants {
 			return poll.Success()
 		}
-		return poll.Continue("%d of %d grants are back", s.Counts.Completed, s.Counts.Grants)
+		return poll.Continue("%d of %d grants were returned", s.Counts.Completed, s.Counts.Grants)
 	}, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
 	return s
 }
 
-// Guards against requests that should be refused being sent, and against
-// refusals without an outcome.
+// Guards against sending invalid requests to an upstream, and against refusals
+// without an outcome.
 func TestRefusedRequests(t *testing.T) {
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -149,7 +149,8 @@
 	assert.Equal(t, u.count("m"), 0)
 }
 
-// Guards against conflicting lengths, which let one request hide in another.
+// Guards against request smuggling: conflicting lengths can hide one request in
+// the body of another.
 func TestConflictingLengthsAreRefused(t *testing.T) {
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -169,7 +170,8 @@
 		assert.Assert(t, resp.StatusCode == 400 || resp.StatusCode == 501, "%d", resp.StatusCode)
 		_ = c.Close()
 	}
-	// With both, the chunks count (RFC 9112, 6.3); the length is not passed on.
+	// If both are present, Transfer-Encoding overrides Content-Length (RFC 9112,
+	// section 6.3), and Content-Length is not forwarded.
 	c, err := net.Dial("tcp", g.url[len("http://"):])
 	assert.NilError(t, err)
 	writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: both\r\nCamphorridge-Customer: acme\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
@@ -179,7 +181,8 @@
 	assert.Equal(t, u.count("m"), 0)
 }
 
-// Guards against a truncated answer that looks whole, also beyond the buffer.
+// Guards against a truncated response larger than the buffer that looks complete
+// to the caller.
 func TestLargeTruncatedResponseAborts(t *testing.T) {
 	body := strings.Repeat("x", largeBodyBytes)
 	u := newScriptedUpstream(t, func(c net.Conn, r *http.Request) {
@@ -204,11 +207,11 @@
 		if o, _ := g.claims.get("k1"); o.State == model.ClaimUnknown {
 			return poll.Success()
 		}
-		return poll.Continue("the claim is open")
+		return poll.Continue("the claim has no outcome yet")
 	})
 }
 
-// Guards against running a keyed request twice.
+// Guards against running a request with an idempotency key twice.
 func TestDuplicates(t *testing.T) {
 	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
 	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
@@ -227,8 +230,8 @@
 	assert.Equal(t, cut.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
 
-// Guards against retries that are not made though nothing ran, that go beyond
-// the budget, or that alter the body.
+// Guards against missing retries of requests that did not run, against retries
+// beyond the retry budget, and against retries with an altered body.
 func TestRetryAfterProvenNotRun(t *testing.T) {
 	busy := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
@@ -252,7 +255,8 @@
 	assert.Equal(t, g.handler.Counts().Retries >= s.Counts.Retries, true)
 }
 
-// Guards against a caller that left still holding a slot.
+// Guards against a slot that stays taken after the caller disconnected, and
+// against counting the disconnect as a failure of the upstream.
 func TestDisconnectedCallerFreesSlot(t *testing.T) {
 	got, hang := make(chan struct{}, 1), make(chan struct{})
 	defer close(hang)
@@ -272,7 +276,7 @@
 	assert.Equal(t, s.Upstreams[0].Score, 0.0)
 }
 
-// Guards against callers that send slowly and hold a slot or a goroutine.
+// Guards against callers that hold a slot or a goroutine by sending slowly.
 func TestSlowBodyIsCutOff(t *testing.T) {
 	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
 	g.handler.cfg.BodyReadTimeout = 50
@@ -287,8 +291,8 @@
 	assert.Equal(t, g.dispatcher.Snapshot().Counts.Requests, int64(0))
 }
 
-// Guards against a stop that cuts requests in flight, and against one that
-// waits for ever.
+// Guards against a shutdown that aborts requests in flight before its timeout,
+// and against one that waits forever.
 func TestShutdownFinishesRequests(t *testing.T) {
 	release, got := make(chan struct{}), make(chan struct{}, 2)
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -312,14 +316,14 @@
 		}()
 		<-got
 		stopped := make(chan error, 1)
-		bound := 20 * clock.Millis(1)
+		timeout := 20 * clock.Millis(1)
 		if finish {
-			bound = 30 * clock.Second
+			timeout = 30 * clock.Second
 		}
-		go func() { stopped <- s.Shutdown(bound) }()
+		go func() { stopped <- s.Shutdown(timeout) }()
 		assert.NilError(t, <-served)
 		_, err = net.Dial("tcp", l.Addr().String())
-		assert.Assert(t, err != nil, "it still accepts")
+		assert.Assert(t, err != nil, "the server still accepts connections")
 		if finish {
 			release <- struct{}{}
 			assert.NilError(t, <-answered)
--- a/io/trans/front/truth_test.go
+++ b/io/trans/front/overload_test.go
@@ -13,8 +13,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a not-run for a request that reached an upstream, and against
-// one that reached it twice, while deadlines pass in every phase.
+// Guards against the outcome not-run for a request that reached an upstream, and
+// against a request that reached one twice, under overload and with deadlines
+// that expire in every phase of a request.
 func TestOutcomesMatchArrivalsUnderOverload(t *testing.T) {
 	var mu sync.Mutex
 	arrived := map[string]int{}
--- a/io/trans/front/raw_test.go
+++ b/io/trans/front/upstream_test.go
@@ -9,8 +9,9 @@
 	"testing"
 )
 
-// raw is an upstream that answers byte by byte and counts how often each
-// request arrived. It closes the connection after each answer.
+// scriptedUpstream is an upstream whose responses are given byte by byte and
+// which counts how often each request arrived. It closes the connection after
+// each response.
 type scriptedUpstream struct {
 	address  string
 	mu       sync.Mutex
@@ -42,12 +43,13 @@
 	return u.arrivals[mark]
 }
 
-// send writes s; a test that needs the bytes to arrive sees it by the answer.
+// writeRaw writes s. It ignores errors: if a test needs the bytes to arrive, it
+// checks the response.
 func writeRaw(c io.Writer, s string) { _, _ = io.WriteString(c, s) }
 
-// answer writes a response and says that the connection is closed after it.
-// Without that, a request that is written while the connection is being closed
-// is rightly an unknown, and the tests would depend on which comes first.
+// writeResponse writes a response with the header Connection: close. Without it,
+// a request written while the connection is being closed would correctly have an
+// unknown outcome, and the tests would depend on the timing.
 func writeResponse(c io.Writer, s string) {
 	writeRaw(c, strings.Replace(s, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
 }
--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -11,24 +11,24 @@
 	"camphorridge/core/state/ring"
 )
 
-// The budget of the log. A reader that stops reading costs lines, never time
-// of the process.
+// The limits of the log. If the reader of the log stops reading, lines are
+// dropped; the process never blocks.
 const (
-	// ringLines is the number of lines that may wait for the reader.
+	// ringLines is the number of lines that may wait to be written.
 	ringLines = 4096
-	// infoBytes is the number of bytes a second that lines of level info may
-	// take, and infoBurst what they may take at once. Lines of higher levels
-	// are bound by the ring alone.
+	// infoBytesPerSecond and infoBurstBytes are the rate and the burst of the
+	// token bucket for lines of level info. Lines of other levels are limited
+	// by the ring only.
 	infoBytesPerSecond = 64 << 10
 	infoBurstBytes     = 256 << 10
-	// reportInterval separates two lines about dropped lines.
+	// reportInterval is the minimum time between two reports of dropped lines.
 	reportInterval = clock.Second
 )
 
 var infoLevelField = []byte("level=info")
 
-// Async is a writer that never waits for its reader: one goroutine writes the
-// lines out, and lines beyond the budget are dropped and counted.
+// Async is an io.Writer that never blocks: one goroutine writes the lines to
+// the underlying writer, and lines beyond the limits are dropped and counted.
 type Async struct {
 	out       io.Writer
 	clock     clock.Clock
@@ -39,17 +39,18 @@
 	closeOnce sync.Once
 
 	mu sync.Mutex
-	// left is the part of the budget that is not used yet, as of at.
+	// budgetBytes is what lines of level info may still take, as of
+	// refilledAt.
 	budgetBytes int
 	refilledAt  clock.Millis
 
-	// told is the number of dropped lines that was reported, as of toldAt; run
-	// alone touches both.
+	// reported is the number of dropped lines in the last report, written at
+	// reportedAt. Both are used only by the goroutine of run.
 	reported   int64
 	reportedAt clock.Millis
 }
 
-// NewAsync returns a writer to out.
+// NewAsync returns a writer to out and starts its goroutine, which Close stops.
 func NewAsync(out io.Writer, c clock.Clock) *Async {
 	a := &Async{
 		out: out, clock: c, lines: ring.New[[]byte](ringLines), budgetBytes: infoBurstBytes, refilledAt: c.Now(),
@@ -59,7 +60,7 @@
 	return a
 }
 
-// Write takes one line. It never fails: a line without room is dropped.
+// Write queues one line. It never fails; a line beyond the limits is dropped.
 func (a *Async) Write(line []byte) (int, error) {
 	if !a.admit(line) || !a.lines.TryPut(bytes.Clone(line)) {
 		a.dropped.Add(1)
@@ -67,7 +68,8 @@
 	return len(line), nil
 }
 
-// admit reports whether a line is within the budget.
+// admit reports whether a line is within the budget for level info. Lines of
+// other levels always are.
 func (a *Async) admit(line []byte) bool {
 	if !bytes.Contains(line, infoLevelField) {
 		return true
@@ -84,7 +86,8 @@
 	return true
 }
 
-// report writes a line about dropped lines, at most one each interval.
+// report writes the number of dropped lines if it has changed, at most once per
+// reportInterval.
 func (a *Async) report() {
 	n, now := a.dropped.Load(), a.clock.Now()
 	if n == a.reported || now-a.reportedAt < reportInterval && a.reportedAt != 0 {
@@ -94,10 +97,11 @@
 	a.write(fmt.Appendf(nil, "level=warn msg=log-lines-dropped total=%d\n", n))
 }
 
-// Dropped is the number of lines that were dropped.
+// Dropped returns the number of dropped lines.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes what waits, as far as the reader takes it within a second.
+// Close writes the queued lines and stops the goroutine. It waits for this for
+// at most one second.
 func (a *Async) Close() {
 	a.closeOnce.Do(func() { close(a.done) })
 	select {
@@ -122,7 +126,8 @@
 	}
 }
 
-// write drops a line whose reader is gone; the process goes on without a log.
+// write writes a line and counts it as dropped on an error, so that the process
+// continues if the reader of the log is gone.
 func (a *Async) write(line []byte) {
 	if _, err := a.out.Write(line); err != nil {
 		a.dropped.Add(1)
--- a/io/trans/logs/async_test.go
+++ b/io/trans/logs/async_test.go
@@ -11,7 +11,7 @@
 	"camphorridge/core/state/clock"
 )
 
-// blocked is a reader that takes nothing until it is let go.
+// blockedWriter is a writer that blocks until unblock is closed.
 type blockedWriter struct {
 	unblock chan struct{}
 	mu      sync.Mutex
@@ -25,8 +25,8 @@
 	return b.written.Write(p)
 }
 
-// TestBlockedReader guards against a request that waits for a reader of the
-// log that has stopped reading: lines are dropped and counted.
+// TestBlockedReader guards against a request that blocks because the reader of
+// the log has stopped reading. Lines are dropped and counted instead.
 func TestBlockedReader(t *testing.T) {
 	out := &blockedWriter{unblock: make(chan struct{})}
 	a := NewAsync(out, clock.Real())
@@ -43,8 +43,8 @@
 	assert.Assert(t, strings.Contains(out.written.String(), "msg=log-lines-dropped"))
 }
 
-// TestInfoBudget guards against a log whose volume grows with the load, and
-// against the loss of warnings to it.
+// TestInfoBudget guards against info lines whose volume grows with the load, and
+// against dropping warnings because of them.
 func TestInfoBudget(t *testing.T) {
 	var out bytes.Buffer
 	fake := clock.NewFake(0)
@@ -59,7 +59,7 @@
 	assert.Equal(t, a.Dropped(), dropped)
 	fake.Advance(clock.Second)
 	_, _ = a.Write(line)
-	assert.Equal(t, a.Dropped(), dropped, "the budget comes back with time")
+	assert.Equal(t, a.Dropped(), dropped, "the budget was not refilled after one second")
 	a.closeOnce.Do(func() { close(a.done) })
 	<-a.finished
 	assert.Assert(t, strings.Contains(out.String(), "msg=kept"))
--- a/io/trans/logs/doc.go
+++ b/io/trans/logs/doc.go
@@ -1,2 +1,3 @@
-// Package logs sets up the log of a process from its settings.
+// Package logs creates the logger of a process and writes log lines without
+// blocking.
 package logs
--- a/io/trans/logs/logs.go
+++ b/io/trans/logs/logs.go
@@ -11,17 +11,17 @@
 	"camphorridge/core/state/model"
 )
 
-// timeFormat is RFC 3339 with milliseconds; times are in UTC, so that the
-// logs of several zones can be merged.
+// timeFormat is RFC 3339 with milliseconds. Times are in UTC, so that the logs
+// of several zones can be merged.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // KindLevel: the level is not debug, info, warn or error.
 const KindLevel Kind = iota
 
-// Error is the error type of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
@@ -34,7 +34,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Settings describes the log of one process.
+// Settings configures the log of one process.
 type Settings struct {
 	// Level is debug, info, warn or error.
 	Level   string
@@ -42,8 +42,8 @@
 	Zone    model.Zone
 }
 
-// levels are those that the settings allow; the library has others that end
-// the process.
+// levels holds the levels that the settings allow. The library has others, such
+// as fatal, that end the process.
 var levels = map[string]log.Level{
 	"debug": log.DebugLevel,
 	"info":  log.InfoLevel,
@@ -51,9 +51,10 @@
 	"error": log.ErrorLevel,
 }
 
-// New returns a logger whose lines carry the time, the level, and the process
-// and its zone as a prefix. The lines are in logfmt, which keeps an entry on
-// one line whatever its values contain.
+// New returns a logger that writes to w. Each line has the time of c, the level,
+// and the process and its zone as a prefix. The format is logfmt, which keeps an
+// entry on one line whatever its values contain. An invalid level is a KindLevel
+// error.
 func New(w io.Writer, s Settings, c clock.Clock) (*log.Logger, error) {
 	level, ok := levels[s.Level]
 	if !ok {
@@ -69,8 +70,8 @@
 	}), nil
 }
 
-// eventLevels are the levels of the events that are state changes. Events of
-// single requests are counted and not logged.
+// eventLevels maps events that are state changes to their log levels. Events of
+// single requests are only counted, not logged.
 var eventLevels = map[model.EventKind]log.Level{
 	model.EventStart:        log.InfoLevel,
 	model.EventStop:         log.InfoLevel,
@@ -92,7 +93,7 @@
 	model.EventBorrowed:     log.InfoLevel,
 }
 
-// Event logs an event of the time line when it is a state change.
+// Event logs an event of the event log if it is a state change.
 func Event(l *log.Logger, e model.Event) {
 	level, ok := eventLevels[e.Kind]
 	if !ok {
--- a/io/trans/logs/logs_test.go
+++ b/io/trans/logs/logs_test.go
@@ -13,8 +13,8 @@
 	"camphorridge/io/trans/logs"
 )
 
-// TestLines guards against lines without time, process or zone, lines for
-// single requests, and values that break a line.
+// TestLines guards against lines without time, process or zone, against lines
+// for events of single requests, and against values that split a line.
 func TestLines(t *testing.T) {
 	var b bytes.Buffer
 	l, err := logs.New(&b, logs.Settings{Level: "info", Process: "e1", Zone: "zone-a"}, clock.NewFake(1_796_382_000_123).Clock())
@@ -28,7 +28,8 @@
 	golden.Assert(t, b.String(), "lines.txt")
 }
 
-// TestLevel guards against a misspelt level that silences the log.
+// TestLevel guards against accepting an invalid level, which would silence the
+// log.
 func TestLevel(t *testing.T) {
 	for _, level := range []string{"", "fatal", "INFO"} {
 		_, err := logs.New(&bytes.Buffer{}, logs.Settings{Level: level}, clock.Real())
