--- a/io/trans/front/bench_test.go
+++ b/io/trans/front/bench_test.go
@@ -56,29 +56,29 @@
 	var left atomic.Int64
 	left.Store(int64(n))
 	var mu sync.Mutex
-	var all []time.Duration
+	var latencies []time.Duration
 	var wg sync.WaitGroup
 	started := time.Now()
 	for _, c := range cs {
 		wg.Go(func() {
-			var mine []time.Duration
+			var own []time.Duration
 			for left.Add(-1) >= 0 {
 				t := time.Now()
 				if _, err := c.call(); err != nil {
 					b.Error(err)
 					return
 				}
-				mine = append(mine, time.Since(t))
+				own = append(own, time.Since(t))
 			}
 			mu.Lock()
-			all = append(all, mine...)
+			latencies = append(latencies, own...)
 			mu.Unlock()
 		})
 	}
 	wg.Wait()
 	rate = float64(n) / time.Since(started).Seconds()
-	slices.Sort(all)
-	return rate, float64(all[len(all)/2].Microseconds())
+	slices.Sort(latencies)
+	return rate, float64(latencies[len(latencies)/2].Microseconds())
 }
 
 func median(v []float64) float64 {
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -122,7 +122,7 @@
 // runClaimed runs a request that carries an idempotency key.
 func (f *Handler[D, C]) runClaimed(x *exchange) {
 	key := model.ClaimKey{Customer: x.parsed.customer, Service: x.parsed.service, Key: x.parsed.key}
-	answer, err := f.claims.Claim(x.ctx, key, x.id)
+	claim, err := f.claims.Claim(x.ctx, key, x.id)
 	if err != nil {
 		// The claim may have been granted and only the response lost, so it is
 		// released.
@@ -130,8 +130,8 @@
 		f.replyRefused(x, http.StatusServiceUnavailable, "the idempotency key could not be claimed: "+err.Error(), clock.Second)
 		return
 	}
-	if !answer.Granted {
-		f.replyDuplicate(x, answer)
+	if !claim.Granted {
+		f.replyDuplicate(x, claim)
 		return
 	}
 	outcome := model.ClaimOutcome{Key: key, Token: x.id, State: model.ClaimUnknown}
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -69,14 +69,14 @@
 			assert.Equal(t, u.count("m"+key), 1, c.name)
 			assert.Assert(t, resp.Header.Get(HeaderRequestID) != "", c.name)
 		}
-		held, kept := g.claims.get("k1")
+		recorded, found := g.claims.get("k1")
 		switch c.outcome {
 		case OutcomeRan:
-			assert.Assert(t, held.State == model.ClaimDone && held.Status == c.status, c.name)
+			assert.Assert(t, recorded.State == model.ClaimDone && recorded.Status == c.status, c.name)
 		case OutcomeNotRun:
-			assert.Assert(t, !kept, "%s: the claim was not released", c.name)
+			assert.Assert(t, !found, "%s: the claim was not released", c.name)
 		default:
-			assert.Equal(t, held.State, model.ClaimUnknown, c.name)
+			assert.Equal(t, recorded.State, model.ClaimUnknown, c.name)
 		}
 		close(hang)
 		g.waitIdle(t)
--- a/io/trans/front/overload_test.go
+++ b/io/trans/front/overload_test.go
@@ -50,15 +50,15 @@
 	g.waitIdle(t)
 	mu.Lock()
 	defer mu.Unlock()
-	for mark, o := range outcomes {
-		want := arrived[mark]
-		switch o[:3] {
+	for mark, outcome := range outcomes {
+		arrivals := arrived[mark]
+		switch outcome[:3] {
 		case "ran":
-			assert.Check(t, want == 1, "%s: %s, arrived %d times", mark, o, want)
+			assert.Check(t, arrivals == 1, "%s: %s, arrived %d times", mark, outcome, arrivals)
 		case "not":
-			assert.Check(t, want == 0, "%s: %s, arrived %d times", mark, o, want)
+			assert.Check(t, arrivals == 0, "%s: %s, arrived %d times", mark, outcome, arrivals)
 		default:
-			assert.Check(t, want <= 1, "%s: %s, arrived %d times", mark, o, want)
+			assert.Check(t, arrivals <= 1, "%s: %s, arrived %d times", mark, outcome, arrivals)
 		}
 	}
 }
--- a/io/trans/uplink/atmostonce_test.go
+++ b/io/trans/uplink/atmostonce_test.go
@@ -95,14 +95,14 @@
 		assert.NilError(t, err, name)
 	}
 	_, res, err := call(t, cl, u.upstream(), build("second"), longTimeout)
-	seen := u.arrivals("second")
-	assert.Assert(t, seen <= 1, "%s: the request arrived %d times", name, seen)
+	arrivals := u.arrivals("second")
+	assert.Assert(t, arrivals <= 1, "%s: the request arrived %d times", name, arrivals)
 	if res.NotRun {
-		assert.Equal(t, seen, 0, name)
+		assert.Equal(t, arrivals, 0, name)
 	}
 	assert.Equal(t, res.NotRun, !res.BytesWritten, name)
 	if err == nil {
-		assert.Equal(t, seen, 1, name)
+		assert.Equal(t, arrivals, 1, name)
 	}
 	if moment == "after" {
 		assert.Assert(t, err != nil && !res.NotRun, name)
@@ -142,9 +142,9 @@
 	wg.Wait()
 	cl.Stop()
 	for id, isNotRun := range notRun {
-		seen := u.arrivals(id)
-		assert.Assert(t, seen <= 1, "%s arrived %d times", id, seen)
-		assert.Assert(t, !isNotRun || seen == 0, "%s arrived and was called not-run", id)
+		arrivals := u.arrivals(id)
+		assert.Assert(t, arrivals <= 1, "%s arrived %d times", id, arrivals)
+		assert.Assert(t, !isNotRun || arrivals == 0, "%s arrived and was called not-run", id)
 	}
 }
 
--- a/io/trans/uplink/client_test.go
+++ b/io/trans/uplink/client_test.go
@@ -22,12 +22,12 @@
 // request may have run, but the caller must not get the response.
 func TestUntrustedResponsesAreErrors(t *testing.T) {
 	for _, c := range []struct {
-		name, answer string
-		kind         Kind
+		name, response string
+		kind           Kind
 	}{
 		{"no length", "HTTP/1.1 200 OK\r\n\r\nbody", KindFraming},
 		{"old protocol", "HTTP/1.0 200 OK\r\n\r\nbody", KindFraming},
-		{"other identity", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: other\r\n\r\n", KindMismatched},
+		{"other request ID", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: other\r\n\r\n", KindMismatched},
 		{"upgrade", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", KindFraming},
 		{"not HTTP", "nonsense\r\n\r\n", KindClosed},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", KindClosed},
@@ -37,7 +37,7 @@
 		{"missing last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", KindTruncated},
 	} {
 		u := newScriptedUpstream(t, respondWith(func(_ int, conn net.Conn, _ *http.Request) bool {
-			_, _ = io.WriteString(conn, c.answer)
+			_, _ = io.WriteString(conn, c.response)
 			return false
 		}))
 		cl := newClient(t)
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -94,13 +94,13 @@
 			}
 			return p.dial(ctx, up)
 		case stepFull:
-			return nil, newError("acquire connection", KindPoolFull, "all %d connections to %s are in use", up.MaxConnections, up.Name)
+			return nil, newError("take", KindPoolFull, "all %d connections to %s are in use", up.MaxConnections, up.Name)
 		case stepWait:
 			select {
 			case <-p.changed:
 			case <-p.clk.After(maxSettleWait):
 			case <-ctx.Done():
-				return nil, newError("acquire connection", KindCancelled, "%w", ctx.Err())
+				return nil, newError("take", KindCancelled, "%w", ctx.Err())
 			}
 		}
 	}
@@ -168,7 +168,7 @@
 	}
 	if p.dropped || up.Incarnation < p.up.Incarnation {
 		p.mu.Unlock()
-		return newError("acquire connection", KindConnect, "connections to incarnation %d of %s were closed because the upstream restarted or was removed", up.Incarnation, up.Name)
+		return newError("take", KindConnect, "connections to incarnation %d of %s were closed because the upstream restarted or was removed", up.Incarnation, up.Name)
 	}
 	var old []*conn
 	if up.Incarnation != p.up.Incarnation || up.Address != p.up.Address {
@@ -243,12 +243,12 @@
 	} else {
 		c.lastRequest = now
 	}
-	keep := c.incarnation == p.up.Incarnation
-	if keep {
+	current := c.incarnation == p.up.Incarnation
+	if current {
 		p.idle = append(p.idle, c)
 	}
 	p.mu.Unlock()
-	if !keep {
+	if !current {
 		_ = c.Close()
 		return
 	}
