--- a/io/trans/front/truth_test.go
+++ b/io/trans/front/overload_test.go
@@ -13,9 +13,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a not-run for a request that reached an upstream, and against
-// one that reached it twice, while deadlines pass in every phase.
-func TestOverloadIsTruthful(t *testing.T) {
+// Guards against the outcome not-run for a request that reached an upstream, and
+// against a request that reached one twice, under overload and with deadlines
+// that expire in every phase of a request.
+func TestOutcomesMatchArrivalsUnderOverload(t *testing.T) {
 	var mu sync.Mutex
 	arrived := map[string]int{}
 	handler := func(w http.ResponseWriter, r *http.Request) {
@@ -25,7 +26,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(5 * time.Millisecond)
 	}
-	g := newRig(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
+	g := newTestEntry(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
 	outcomes := map[string]string{}
 	var wg sync.WaitGroup
 	for w := range 32 {
@@ -46,18 +47,18 @@
 		})
 	}
 	wg.Wait()
-	g.idle(t)
+	g.waitIdle(t)
 	mu.Lock()
 	defer mu.Unlock()
-	for mark, o := range outcomes {
-		want := arrived[mark]
-		switch o[:3] {
+	for mark, outcome := range outcomes {
+		arrivals := arrived[mark]
+		switch outcome[:3] {
 		case "ran":
-			assert.Check(t, want == 1, "%s: %s, arrived %d times", mark, o, want)
+			assert.Check(t, arrivals == 1, "%s: %s, arrived %d times", mark, outcome, arrivals)
 		case "not":
-			assert.Check(t, want == 0, "%s: %s, arrived %d times", mark, o, want)
+			assert.Check(t, arrivals == 0, "%s: %s, arrived %d times", mark, outcome, arrivals)
 		default:
-			assert.Check(t, want <= 1, "%s: %s, arrived %d times", mark, o, want)
+			assert.Check(t, arrivals <= 1, "%s: %s, arrived %d times", mark, outcome, arrivals)
 		}
 	}
 }
