Word internal/stand, cmd/platform and cmd/standin in the terms of the field

Forget, era, take, keep, begin and soon did not say what they did; they are now SilenceConnections, generation, remove, saveRecord, recordStart and reannounceLease. Each fault and mode has a comment that says what it does, and doc comments are whole sentences. Uses in tests/ follow the renames. Fault names, headers, fields of forms and flag names are unchanged.

--- a/cmd/platform/main.go
+++ b/cmd/platform/main.go
@@ -1,5 +1,5 @@
-// Platform runs a process of the system on the users' platform. Its one
-// argument is the role: control or entry.
+// Command platform runs a process of the system on the users' platform. Its only
+// argument is the role of the process: control or entry.
 package main
 
 import (
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs stand-in upstreams with their platform, or a bounded
-// load, for the demo and for tests by hand.
+// Command standin runs stand-in upstreams with their platform, or sends a limited
+// number of requests, for the demo and for manual tests.
 package main
 
 import (
@@ -20,10 +20,12 @@
 // rackSize is the number of instances in a rack.
 const rackSize = 4
 
+// upstreamFlags are the flags of the subcommand upstreams.
 type upstreamFlags struct {
 	zone, platform, announce, pools, delay, reboot string
 }
 
+// loadFlags are the flags of the subcommand load.
 type loadFlags struct {
 	entries, service, customer, pause, timeout, prefix string
 	requests, workers                                  int
@@ -37,20 +39,20 @@
 	upCmd.Description = "run stand-in upstreams and their platform"
 	upCmd.String(&up.zone, "", "zone", "availability zone")
 	upCmd.String(&up.platform, "", "platform", "address of the platform's interface")
-	upCmd.String(&up.announce, "", "announce", "upstream-facing addresses of entry processes, by comma")
-	upCmd.String(&up.pools, "", "pools", "instances by pool, such as merge=4,portal=2")
-	upCmd.String(&up.delay, "", "delay", "time that a request takes")
-	upCmd.String(&up.reboot, "", "reboot", "time that a reboot takes")
+	upCmd.String(&up.announce, "", "announce", "upstream-facing addresses of entry processes, separated by commas")
+	upCmd.String(&up.pools, "", "pools", "number of instances of each pool, such as merge=4,portal=2")
+	upCmd.String(&up.delay, "", "delay", "how long a request takes")
+	upCmd.String(&up.reboot, "", "reboot", "how long a reboot takes")
 	ldCmd := flaggy.NewSubcommand("load")
-	ldCmd.Description = "send a bounded load"
-	ldCmd.String(&ld.entries, "", "entries", "caller-facing addresses, by comma")
-	ldCmd.String(&ld.service, "", "service", "service to ask")
-	ldCmd.String(&ld.customer, "", "customer", "customer who asks")
-	ldCmd.String(&ld.pause, "", "pause", "pause between two requests of a worker")
-	ldCmd.String(&ld.timeout, "", "timeout", "bound on one request")
-	ldCmd.String(&ld.prefix, "", "prefix", "start of the requests' names")
+	ldCmd.Description = "send a limited number of requests"
+	ldCmd.String(&ld.entries, "", "entries", "caller-facing addresses of entry processes, separated by commas")
+	ldCmd.String(&ld.service, "", "service", "service to send the requests to")
+	ldCmd.String(&ld.customer, "", "customer", "customer who sends the requests")
+	ldCmd.String(&ld.pause, "", "pause", "pause between two requests of one sender")
+	ldCmd.String(&ld.timeout, "", "timeout", "timeout of one request")
+	ldCmd.String(&ld.prefix, "", "prefix", "prefix of the names of requests")
 	ldCmd.Int(&ld.requests, "", "requests", "number of requests")
-	ldCmd.Int(&ld.workers, "", "workers", "requests in flight")
+	ldCmd.Int(&ld.workers, "", "workers", "number of requests in flight at the same time")
 	ldCmd.Bool(&ld.keyed, "", "keyed", "give each request an idempotency key")
 	flaggy.SetName("standin")
 	flaggy.AttachSubcommand(upCmd, 1)
@@ -73,6 +75,7 @@
 	}
 }
 
+// runUpstreams runs the upstreams and their platform until ctx is done.
 func runUpstreams(ctx context.Context, f upstreamFlags) error {
 	delay, err := time.ParseDuration(f.delay)
 	if err != nil {
@@ -94,7 +97,7 @@
 				Instance: fmt.Sprintf("%s-i%02d", f.zone, len(all)),
 				Zone:     f.zone, Rack: fmt.Sprintf("%s-r%d", f.zone, len(all)/rackSize),
 				Pool: pool, Slots: 8, Connections: 64, Delay: delay,
-				Announce: strings.Split(f.announce, ","),
+				AnnounceTo: strings.Split(f.announce, ","),
 			})
 		}
 	}
@@ -108,6 +111,7 @@
 	return nil
 }
 
+// runLoad sends the requests and prints the number of answers of each kind.
 func runLoad(ctx context.Context, f loadFlags) error {
 	pause, err := time.ParseDuration(f.pause)
 	if err != nil {
@@ -119,7 +123,7 @@
 	}
 	l := stand.Load{
 		Entries: strings.Split(f.entries, ","), Service: f.service, Customer: f.customer,
-		Requests: f.requests, Workers: f.workers, Keyed: f.keyed, Pause: pause,
+		Requests: f.requests, Concurrency: f.workers, IdempotencyKeys: f.keyed, Pause: pause,
 		Timeout: timeout, Prefix: f.prefix,
 	}
 	fmt.Print(l.Run(ctx).String())
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -13,61 +13,63 @@
 	"camphorridge/core/state/clock"
 )
 
-// Load is a bounded load from one customer on one service.
+// Load is a limited number of requests from one customer to one service.
 type Load struct {
-	// Entries lists the caller-facing addresses of the entry processes; they
-	// are asked in turn, as the platform's balancer would.
+	// Entries lists the caller-facing addresses of the entry processes. The
+	// requests go to them in turn, as if through the platform's load balancer.
 	Entries  []string
 	Service  string
 	Customer string
-	// Requests is the number of requests in all, and Workers the number in
-	// flight.
-	Requests int
-	Workers  int
-	// Keyed gives each request an idempotency key.
-	Keyed bool
-	// Pause is the time between two requests of one worker.
+	// Requests is the total number of requests, and Concurrency the number in
+	// flight at the same time.
+	Requests    int
+	Concurrency int
+	// IdempotencyKeys gives each request an idempotency key.
+	IdempotencyKeys bool
+	// Pause is the time between an answer and the next request of the same
+	// goroutine.
 	Pause time.Duration
-	// Timeout bounds one request.
+	// Timeout is the timeout of one request.
 	Timeout time.Duration
-	// Prefix starts the name of each request.
+	// Prefix is the start of each request's name.
 	Prefix string
 }
 
-// Answer is how one request of a load ended.
+// Answer is the result of one request of a load.
 type Answer struct {
 	ID      string
 	Status  int
 	Outcome string
-	// Err is set when no whole answer came.
+	// Err is set if no complete and correct answer came.
 	Err     error
 	Elapsed clock.Millis
 }
 
-// Summary counts the answers of a load.
+// Summary holds and counts the answers to a load.
 type Summary struct {
 	Answers []Answer
 	// Counts holds the number of answers by status and outcome.
 	Counts map[string]int
 }
 
-// Run sends the load and waits for its end or that of ctx.
+// Run sends the requests and returns when all are answered. It sends no new
+// requests after ctx is done.
 func (l Load) Run(ctx context.Context) Summary {
 	client := &http.Client{
 		Timeout:   l.Timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: l.Workers},
+		Transport: &http.Transport{MaxIdleConnsPerHost: l.Concurrency},
 	}
 	defer client.CloseIdleConnections()
 	next := make(chan int)
-	out := make(chan Answer, l.Workers)
+	out := make(chan Answer, l.Concurrency)
 	var wg sync.WaitGroup
-	for range l.Workers {
+	for range l.Concurrency {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			for n := range next {
-				out <- l.one(ctx, client, n)
-				pause(ctx, l.Pause)
+				out <- l.send(ctx, client, n)
+				sleep(ctx, l.Pause)
 			}
 		}()
 	}
@@ -93,7 +95,8 @@
 	return s
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// sleep waits for a duration or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -105,6 +108,7 @@
 	}
 }
 
+// label returns the key of an answer in Summary.Counts.
 func (a Answer) label() string {
 	if a.Err != nil {
 		return "error"
@@ -112,7 +116,8 @@
 	return fmt.Sprintf("%d %s", a.Status, a.Outcome)
 }
 
-func (l Load) one(ctx context.Context, client *http.Client, n int) Answer {
+// send sends request n and returns its answer.
+func (l Load) send(ctx context.Context, client *http.Client, n int) Answer {
 	a := Answer{ID: fmt.Sprintf("%s%s-%d", l.Prefix, l.Service, n)}
 	started := clk.Now()
 	defer func() { a.Elapsed = clk.Now() - started }()
@@ -124,7 +129,7 @@
 	}
 	req.Header.Set("Camphorridge-Customer", l.Customer)
 	req.Header.Set(IDHeader, a.ID)
-	if l.Keyed {
+	if l.IdempotencyKeys {
 		req.Header.Set("Idempotency-Key", a.ID)
 	}
 	resp, err := client.Do(req)
@@ -142,7 +147,7 @@
 	return a
 }
 
-// String returns the counts, one on a line, in order of their labels.
+// String returns the counts, one per line, sorted by label.
 func (s Summary) String() string {
 	labels := make([]string, 0, len(s.Counts))
 	for l := range s.Counts {
--- a/internal/stand/doc.go
+++ b/internal/stand/doc.go
@@ -1,4 +1,5 @@
-// Package stand holds the stand-in upstream, platform and caller for tests
-// and the demo. A stand-in upstream announces itself, keeps a record of every
-// request that it ran, and fails in the ways that a request asks for.
+// Package stand provides stand-ins for upstreams, the platform, callers and the
+// network between zones, for tests and the demo. A stand-in upstream announces
+// itself, records every request that it handles, and injects the fault that a
+// request's headers name.
 package stand
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -13,25 +13,29 @@
 	"camphorridge/core/state/clock"
 )
 
-// rebootGrace bounds the wait for requests in flight at a reboot; a drained
-// instance has none.
+// rebootGrace is the maximum time that a reboot waits for requests in flight. A
+// drained instance has none.
 const rebootGrace = 5 * time.Second
 
-// Platform hosts several stand-in upstreams in one process and reboots them
-// on request, as the platform's interface does.
+// Platform is a stand-in for the platform. It runs several stand-in upstreams in
+// one process and reboots them on request.
 type Platform struct {
-	// RebootTime is how long an instance is away at a reboot.
+	// RebootTime is how long an instance is down during a reboot.
 	RebootTime time.Duration
 	mu         sync.Mutex
-	upstreams  map[string]*Upstream
-	reboots    map[string]int
-	history    []Run
+	// upstreams holds the running upstreams by instance.
+	upstreams map[string]*Upstream
+	// reboots is the number of reboots by instance.
+	reboots map[string]int
+	// history holds the requests of upstreams that have stopped.
+	history    []HandledRequest
 	server     *http.Server
 	listener   net.Listener
-	ended      sync.WaitGroup
+	goroutines sync.WaitGroup
 }
 
-// StartPlatform starts the upstreams and the platform's HTTP interface.
+// StartPlatform starts the upstreams, and the platform's HTTP interface at an
+// address.
 func StartPlatform(address string, reboot time.Duration, all []Options) (*Platform, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -55,21 +59,21 @@
 	mux.HandleFunc("POST /leave", p.handleLeave)
 	mux.HandleFunc("GET /summary", p.handleSummary)
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	p.ended.Add(1)
+	p.goroutines.Add(1)
 	go func() {
-		defer p.ended.Done()
+		defer p.goroutines.Done()
 		_ = p.server.Serve(l)
 	}()
 	return p, nil
 }
 
-// Addr is the address of the platform's interface.
+// Addr returns the address of the platform's interface.
 func (p *Platform) Addr() string { return p.listener.Addr().String() }
 
-// Close stops all upstreams at once.
+// Close stops the HTTP interface and all upstreams at once.
 func (p *Platform) Close() {
 	_ = p.server.Close()
-	p.ended.Wait()
+	p.goroutines.Wait()
 	p.closeUpstreams()
 }
 
@@ -81,18 +85,19 @@
 	}
 }
 
-// Upstream returns a hosted upstream; nil for an unknown or absent one.
+// Upstream returns a running upstream, or nil if the instance is unknown or down.
 func (p *Platform) Upstream(instance string) *Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.upstreams[instance]
 }
 
-// Record returns what all hosted upstreams ran, including before reboots.
-func (p *Platform) Record() []Run {
+// Record returns the requests that all upstreams have handled, including those
+// before reboots, in the order of their start.
+func (p *Platform) Record() []HandledRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := append([]Run(nil), p.history...)
+	out := append([]HandledRequest(nil), p.history...)
 	for _, u := range p.upstreams {
 		out = append(out, u.Record()...)
 	}
@@ -100,25 +105,25 @@
 	return out
 }
 
-// Reboots is the number of reboots of an instance.
+// Reboots returns the number of reboots of an instance.
 func (p *Platform) Reboots(instance string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.reboots[instance]
 }
 
-// Kill stops an upstream at once and keeps its record.
+// Kill stops an upstream at once, as a crash does. Its record is kept.
 func (p *Platform) Kill(instance string) {
-	u := p.take(instance)
+	u := p.remove(instance)
 	if u == nil {
 		return
 	}
 	u.Close()
-	p.keep(u)
+	p.saveRecord(u)
 }
 
-// Start starts an upstream that is absent, under a higher incarnation than
-// before, as after a repair.
+// Start starts an upstream that is down, with a higher incarnation than before, as
+// after a repair.
 func (p *Platform) Start(o Options) error {
 	u, err := Start(o)
 	if err != nil {
@@ -130,7 +135,8 @@
 	return nil
 }
 
-func (p *Platform) take(instance string) *Upstream {
+// remove removes and returns a running upstream, or returns nil if there is none.
+func (p *Platform) remove(instance string) *Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.upstreams[instance]
@@ -138,15 +144,17 @@
 	return u
 }
 
-func (p *Platform) keep(u *Upstream) {
+// saveRecord keeps the requests of an upstream that has stopped.
+func (p *Platform) saveRecord(u *Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.history = append(p.history, u.Record()...)
 }
 
+// handleReboot starts the reboot of an instance and doesn't wait for its end.
 func (p *Platform) handleReboot(w http.ResponseWriter, r *http.Request) {
 	instance := r.URL.Query().Get("instance")
-	u := p.take(instance)
+	u := p.remove(instance)
 	if u == nil {
 		http.Error(w, "unknown or absent instance", http.StatusNotFound)
 		return
@@ -154,14 +162,16 @@
 	p.mu.Lock()
 	p.reboots[instance]++
 	p.mu.Unlock()
-	p.ended.Add(1)
+	p.goroutines.Add(1)
 	go func() {
-		defer p.ended.Done()
+		defer p.goroutines.Done()
 		p.reboot(u)
 	}()
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// reboot stops an upstream, waits for RebootTime, and starts it again at the same
+// address and in the pool that it served last.
 func (p *Platform) reboot(u *Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), rebootGrace)
 	defer cancel()
@@ -169,7 +179,7 @@
 	o.Pool = u.CurrentPool()
 	o.Address = u.Addr()
 	_ = u.Shutdown(ctx)
-	p.keep(u)
+	p.saveRecord(u)
 	<-clk.After(clock.FromDuration(p.RebootTime))
 	next, err := Start(o)
 	if err != nil {
@@ -180,6 +190,7 @@
 	p.mu.Unlock()
 }
 
+// handleLeave makes an instance announce that it leaves.
 func (p *Platform) handleLeave(w http.ResponseWriter, r *http.Request) {
 	u := p.Upstream(r.URL.Query().Get("instance"))
 	if u == nil {
@@ -190,8 +201,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// handleSummary prints the number of requests by pool and the largest number
-// that ran at once on one instance.
+// handleSummary writes the number of requests by pool, the largest number of
+// concurrent requests on one instance, and the number of reboots.
 func (p *Platform) handleSummary(w http.ResponseWriter, _ *http.Request) {
 	counts := map[string]int{}
 	for _, r := range p.Record() {
--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -6,30 +6,33 @@
 	"sync"
 )
 
-// RelayMode is what a relay does with its connections.
+// RelayMode says what a relay does with its connections.
 type RelayMode int
 
 // The modes of a relay.
 const (
+	// RelayForward forwards data in both directions.
 	RelayForward RelayMode = iota
-	// RelaySilent keeps connections open and passes nothing on, as a network
-	// that drops packets does.
+	// RelaySilent keeps connections open but forwards nothing, like a network
+	// that drops packets.
 	RelaySilent
-	// RelayReset closes connections and refuses new ones at once.
+	// RelayReset closes open connections, and new ones as soon as they are
+	// accepted.
 	RelayReset
 )
 
-// Relay forwards TCP connections from one availability zone to a process of
-// another one.
+// Relay forwards TCP connections to a process, for example one in another
+// availability zone, and injects network faults.
 type Relay struct {
-	target  string
-	l       net.Listener
-	mu      sync.Mutex
-	changed *sync.Cond
-	mode    RelayMode
-	conns   map[net.Conn]bool
-	// era counts the calls of Forget; connections of earlier eras are silent.
-	era int
+	target   string
+	listener net.Listener
+	mu       sync.Mutex
+	changed  *sync.Cond
+	mode     RelayMode
+	conns    map[net.Conn]bool
+	// generation is the number of calls of SilenceConnections. Connections of an
+	// earlier generation are silent.
+	generation int
 }
 
 // NewRelay returns a relay that listens at an address and forwards to target.
@@ -38,24 +41,24 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, l: l, conns: map[net.Conn]bool{}}
+	r := &Relay{target: target, listener: l, conns: map[net.Conn]bool{}}
 	r.changed = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
 }
 
-// Close ends the relay and its connections.
+// Close stops the relay and closes its connections.
 func (r *Relay) Close() {
-	_ = r.l.Close()
-	r.Set(RelayReset)
+	_ = r.listener.Close()
+	r.SetMode(RelayReset)
 }
 
-// Addr is the address that the relay listens at.
-func (r *Relay) Addr() string { return r.l.Addr().String() }
+// Addr returns the address that the relay listens on.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
-// Set changes the mode. Connections that were silent stay open and go on when
-// the relay forwards again.
-func (r *Relay) Set(m RelayMode) {
+// SetMode changes the mode. Connections stay open in the mode RelaySilent and
+// continue when the relay forwards again.
+func (r *Relay) SetMode(m RelayMode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.mode = m
@@ -68,20 +71,20 @@
 	}
 }
 
-// Forget makes the open connections silent for good, while new ones work, as a
-// middlebox does that lost its state.
-func (r *Relay) Forget() {
+// SilenceConnections makes the open connections silent forever, while new ones
+// work, like a middlebox that has lost its state.
+func (r *Relay) SilenceConnections() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.era++
+	r.generation++
 }
 
-// pass waits while the relay, or a connection of the given era, is silent and
+// waitForward waits while the relay, or a connection of the given era, is silent and
 // reports whether to go on.
-func (r *Relay) pass(era int) bool {
+func (r *Relay) waitForward(era int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.mode == RelaySilent || (era < r.era && r.mode != RelayReset) {
+	for r.mode == RelaySilent || (era < r.generation && r.mode != RelayReset) {
 		r.changed.Wait()
 	}
 	return r.mode == RelayForward
@@ -89,7 +92,7 @@
 
 func (r *Relay) accept() {
 	for {
-		c, err := r.l.Accept()
+		c, err := r.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -97,41 +100,43 @@
 	}
 }
 
+// serve forwards one connection until either side closes it.
 func (r *Relay) serve(c net.Conn) {
-	defer r.drop(c)
-	r.keep(c)
+	defer r.closeConn(c)
+	r.track(c)
 	r.mu.Lock()
-	era := r.era
+	era := r.generation
 	r.mu.Unlock()
-	if !r.pass(era) {
+	if !r.waitForward(era) {
 		return
 	}
 	out, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
 	}
-	defer r.drop(out)
-	r.keep(out)
+	defer r.closeConn(out)
+	r.track(out)
 	done := make(chan struct{}, 2)
 	go r.copy(out, c, era, done)
 	go r.copy(c, out, era, done)
 	<-done
 }
 
+// copy forwards data in one direction and signals its end on done.
 func (r *Relay) copy(to, from net.Conn, era int, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			if !r.pass(era) {
+			if !r.waitForward(era) {
 				return
 			}
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
 			}
 		}
-		if err == io.EOF && r.pass(era) {
+		if err == io.EOF && r.waitForward(era) {
 			return
 		}
 		if err != nil {
@@ -140,13 +145,15 @@
 	}
 }
 
-func (r *Relay) keep(c net.Conn) {
+// track adds a connection to those that RelayReset closes.
+func (r *Relay) track(c net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.conns[c] = true
 }
 
-func (r *Relay) drop(c net.Conn) {
+// closeConn closes a connection and stops tracking it.
+func (r *Relay) closeConn(c net.Conn) {
 	_ = c.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -18,30 +18,36 @@
 // clk is the clock of all stand-ins.
 var clk = clock.Real()
 
-// Request headers that tell a stand-in upstream how to behave.
+// Request headers that control a stand-in upstream.
 const (
-	// FaultHeader is one of the faults below.
+	// FaultHeader names the fault to inject.
 	FaultHeader = "Stand-Fault"
-	// DelayHeader is the time in milliseconds that the request takes.
+	// DelayHeader is how long the request takes, in milliseconds.
 	DelayHeader = "Stand-Delay-Ms"
-	// IDHeader is the caller's own name for the request, for the record.
+	// IDHeader is the caller's name for the request, which is recorded.
 	IDHeader = "Stand-Id"
 )
 
-// The faults.
+// Values of FaultHeader.
 const (
-	FaultHang     = "hang"
-	FaultCut      = "cut"
-	FaultFail     = "fail"
-	FaultClose    = "close"
-	FaultNotRun   = "not-run"
+	// FaultHang delays the answer for an hour.
+	FaultHang = "hang"
+	// FaultCut closes the connection in the middle of the answer.
+	FaultCut = "cut"
+	// FaultFail answers with status 500.
+	FaultFail = "fail"
+	// FaultClose closes the connection without an answer.
+	FaultClose = "close"
+	// FaultNotRun refuses the request as not run.
+	FaultNotRun = "not-run"
+	// FaultNoLength answers without a length and closes the connection.
 	FaultNoLength = "no-length"
-	// FaultCrossed answers under the identity of another request.
-	FaultCrossed = "crossed"
+	// FaultWrongID answers with the request id of another request.
+	FaultWrongID = "crossed"
 )
 
-// Run is one request that a stand-in upstream ran.
-type Run struct {
+// HandledRequest is one request that a stand-in upstream has handled.
+type HandledRequest struct {
 	Seq      int
 	ID       string
 	Method   string
@@ -50,15 +56,15 @@
 	Instance string
 	Entry    string
 	Started  clock.Millis
-	// Ended is 0 while the request runs.
+	// Ended is 0 while the request is being handled.
 	Ended clock.Millis
-	// Finished says that the handler wrote its whole answer.
+	// Finished reports whether the handler has written its whole answer.
 	Finished bool
-	// Cut says that the connection closed before the answer was whole.
+	// Cut reports whether the request ended before the whole answer was written.
 	Cut bool
 }
 
-// Options describe a stand-in upstream.
+// Options are the settings of a stand-in upstream.
 type Options struct {
 	Instance    string
 	Zone        string
@@ -66,36 +72,37 @@
 	Pool        string
 	Slots       int
 	Connections int
-	// Announce lists the upstream-facing addresses of the zone's entry
-	// processes; one of them is asked in turn.
-	Announce []string
-	// Delay is the time that a request takes unless its header says so.
+	// AnnounceTo lists the upstream-facing addresses of the zone's entry
+	// processes. Each announcement goes to one of them.
+	AnnounceTo []string
+	// Delay is how long a request takes if it has no DelayHeader.
 	Delay time.Duration
-	// Advertise is the address to announce, such as that of a relay; empty
-	// announces Address.
+	// Advertise is the address to announce, such as that of a relay. If it is
+	// empty, the listening address is announced.
 	Advertise string
-	// Address is the address to listen on; empty picks a free port.
+	// Address is the address to listen on. If it is empty, a free port is used.
 	Address string
 }
 
 // Upstream is a running stand-in upstream.
 type Upstream struct {
 	Options
-	mu          sync.Mutex
-	runs        []Run
-	running     int
-	maxRunning  int
-	pool        string
-	incarnation uint64
-	leaving     bool
-	rejected    string
-	server      *http.Server
-	listener    net.Listener
-	done        chan struct{}
-	ended       sync.WaitGroup
+	mu              sync.Mutex
+	requests        []HandledRequest
+	running         int
+	maxRunning      int
+	pool            string
+	incarnation     uint64
+	leaving         bool
+	rejectionReason string
+	server          *http.Server
+	listener        net.Listener
+	done            chan struct{}
+	goroutines      sync.WaitGroup
 }
 
-// Start listens, announces and serves until Close.
+// Start starts a stand-in upstream, which serves and announces itself until it is
+// closed. It returns an error if it can't listen on the address.
 func Start(o Options) (*Upstream, error) {
 	if o.Address == "" {
 		o.Address = "127.0.0.1:0"
@@ -109,36 +116,37 @@
 		incarnation: uint64(clk.Now()),
 	}
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 10 * time.Second}
-	u.ended.Add(1)
+	u.goroutines.Add(1)
 	go func() {
-		defer u.ended.Done()
+		defer u.goroutines.Done()
 		_ = u.server.Serve(l)
 	}()
-	if len(o.Announce) > 0 {
-		u.ended.Add(1)
+	if len(o.AnnounceTo) > 0 {
+		u.goroutines.Add(1)
 		go u.announceLoop()
 	}
 	return u, nil
 }
 
-// Addr is the address that the upstream serves.
+// Addr returns the address that the upstream listens on.
 func (u *Upstream) Addr() string { return u.listener.Addr().String() }
 
-// announced is the address that the upstream announces.
-func (u *Upstream) announced() string {
+// announcedAddress returns the address that the upstream announces.
+func (u *Upstream) announcedAddress() string {
 	if u.Advertise != "" {
 		return u.Advertise
 	}
 	return u.Addr()
 }
 
-// Close stops at once, as a killed process does.
+// Close stops the upstream at once, as if its process were killed.
 func (u *Upstream) Close() {
 	u.stop()
 	_ = u.server.Close()
-	u.ended.Wait()
+	u.goroutines.Wait()
 }
 
+// stop ends the announcements and the delays of requests.
 func (u *Upstream) stop() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -149,7 +157,7 @@
 	}
 }
 
-// Leave announces that the upstream leaves; it goes on to serve.
+// Leave announces that the upstream is leaving. It keeps serving.
 func (u *Upstream) Leave() {
 	u.mu.Lock()
 	u.leaving = true
@@ -161,70 +169,74 @@
 func (u *Upstream) Shutdown(ctx context.Context) error {
 	err := u.server.Shutdown(ctx)
 	u.stop()
-	u.ended.Wait()
+	u.goroutines.Wait()
 	return err
 }
 
-// Record returns a copy of the requests that the upstream ran.
-func (u *Upstream) Record() []Run {
+// Record returns a copy of the requests that the upstream has handled.
+func (u *Upstream) Record() []HandledRequest {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return append([]Run(nil), u.runs...)
+	return append([]HandledRequest(nil), u.requests...)
 }
 
-// MaxRunning is the largest number of requests that ran at once.
+// MaxRunning returns the largest number of requests that ran at the same time.
 func (u *Upstream) MaxRunning() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.maxRunning
 }
 
-// CurrentPool is the pool that the upstream serves now.
+// CurrentPool returns the pool that the upstream serves.
 func (u *Upstream) CurrentPool() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.pool
 }
 
-// Rejected is the reason of the last rejected announcement; empty for none.
-func (u *Upstream) Rejected() string {
+// RejectionReason returns why the last announcement was rejected. It is empty if
+// the announcement was accepted.
+func (u *Upstream) RejectionReason() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.rejected
+	return u.rejectionReason
 }
 
-// Restart gives the upstream a higher incarnation, as a reboot does.
-func (u *Upstream) Restart() {
+// RaiseIncarnation gives the upstream a higher incarnation, as a reboot does.
+func (u *Upstream) RaiseIncarnation() {
 	u.mu.Lock()
 	u.incarnation++
 	u.mu.Unlock()
 }
 
-func (u *Upstream) begin(r *http.Request) int {
+// recordStart records the start of a request and returns its index in requests.
+func (u *Upstream) recordStart(r *http.Request) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running++
 	u.maxRunning = max(u.maxRunning, u.running)
-	// The path is /<service>/..., and the service is the pool asked for.
-	asked, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	u.runs = append(u.runs, Run{
-		Seq: len(u.runs), ID: r.Header.Get(IDHeader), Method: r.Method, Path: r.URL.Path,
-		Pool: asked, Instance: u.Instance,
+	// The path is /<service>/..., and the service is the name of the pool.
+	pool, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	u.requests = append(u.requests, HandledRequest{
+		Seq: len(u.requests), ID: r.Header.Get(IDHeader), Method: r.Method, Path: r.URL.Path,
+		Pool: pool, Instance: u.Instance,
 		Entry: r.Header.Get("Camphorridge-Entry"), Started: clk.Now(),
 	})
-	return len(u.runs) - 1
+	return len(u.requests) - 1
 }
 
-func (u *Upstream) end(seq int, finished bool) {
+// recordEnd records the end of a request.
+func (u *Upstream) recordEnd(seq int, finished bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running--
-	u.runs[seq].Ended = clk.Now()
-	u.runs[seq].Finished = finished
-	u.runs[seq].Cut = !finished
+	u.requests[seq].Ended = clk.Now()
+	u.requests[seq].Finished = finished
+	u.requests[seq].Cut = !finished
 }
 
-// ServeHTTP runs one request and records it.
+// ServeHTTP handles one request and records it. Health checks and requests that are
+// refused as not run are not recorded.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.WriteHeader(http.StatusOK)
@@ -240,21 +252,22 @@
 	if err != nil {
 		return
 	}
-	seq := u.begin(r)
+	seq := u.recordStart(r)
 	finished := false
-	defer func() { u.end(seq, finished) }()
-	if !u.wait(r) {
+	defer func() { u.recordEnd(seq, finished) }()
+	if !u.delay(r) {
 		return
 	}
 	w.Header().Set("Camphorridge-Request-Id", r.Header.Get("Camphorridge-Request-Id"))
-	if fault == FaultCrossed {
+	if fault == FaultWrongID {
 		w.Header().Set("Camphorridge-Request-Id", "of-another-request")
 	}
-	finished = u.answer(w, r, fault, body)
+	finished = u.writeAnswer(w, r, fault, body)
 }
 
-// wait takes the time that the request asks for; false when it was cut.
-func (u *Upstream) wait(r *http.Request) bool {
+// delay waits for as long as the request has to take. It returns false if the
+// connection closed or the upstream was stopped in the meantime.
+func (u *Upstream) delay(r *http.Request) bool {
 	d := u.Delay
 	if ms, err := strconv.Atoi(r.Header.Get(DelayHeader)); err == nil {
 		d = time.Duration(ms) * time.Millisecond
@@ -277,7 +290,9 @@
 	}
 }
 
-func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, fault string, body []byte) bool {
+// writeAnswer writes the answer, with the fault if there is one, and reports whether
+// it wrote the whole answer.
+func (u *Upstream) writeAnswer(w http.ResponseWriter, r *http.Request, fault string, body []byte) bool {
 	text := fmt.Sprintf("%s %s %s %d\n", u.Instance, r.Header.Get(IDHeader), r.URL.Path, len(body))
 	switch fault {
 	case FaultFail:
@@ -298,8 +313,8 @@
 	return true
 }
 
-// answerWithoutLength ends the body by closing the connection, so that its
-// end can't be told from a cut.
+// answerWithoutLength ends the body by closing the connection, so that the reader
+// can't tell a complete answer from a truncated one.
 func (u *Upstream) answerWithoutLength(w http.ResponseWriter, text string) bool {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -310,8 +325,9 @@
 	return err == nil
 }
 
+// announceLoop announces the upstream three times per lease until it is stopped.
 func (u *Upstream) announceLoop() {
-	defer u.ended.Done()
+	defer u.goroutines.Done()
 	for {
 		lease := u.AnnounceOnce(context.Background())
 		t := time.NewTimer(lease / 3)
@@ -324,61 +340,63 @@
 	}
 }
 
-// soon is the lease after a change of pool, which is announced at once.
-const soon = 10 * time.Millisecond
+// reannounceLease is the assumed lease after a change of pool. It is short so that
+// the change is announced at once.
+const reannounceLease = 10 * time.Millisecond
 
-// defaultLease is used until an entry process tells the lease.
+// defaultLease is the assumed lease if no entry process has granted one.
 const defaultLease = 1500 * time.Millisecond
 
 var announceClient = &http.Client{Timeout: 500 * time.Millisecond}
 
-// AnnounceOnce announces to the first entry process that answers, starting
-// with another one each time, and returns the lease.
+// AnnounceOnce sends one announcement to the first entry process that answers, and
+// returns the lease. Successive calls start with different entry processes.
 func (u *Upstream) AnnounceOnce(ctx context.Context) time.Duration {
 	u.mu.Lock()
-	form := u.form()
+	form := u.announcement()
 	start := int(clk.Now() / 100)
 	u.mu.Unlock()
-	for i := range u.Announce {
-		addr := u.Announce[(start+i)%len(u.Announce)]
+	for i := range u.AnnounceTo {
+		addr := u.AnnounceTo[(start+i)%len(u.AnnounceTo)]
 		answer, status, err := post(ctx, "http://"+addr+"/announce", form)
 		if err != nil {
 			continue
 		}
-		return u.take(answer, status)
+		return u.applyAnswer(answer, status)
 	}
 	return defaultLease
 }
 
-// form returns the announcement; mu is held.
-func (u *Upstream) form() url.Values {
+// announcement returns the announcement to send. The caller must hold mu.
+func (u *Upstream) announcement() url.Values {
 	state := "serving"
 	if u.leaving {
 		state = "leaving"
 	}
 	return url.Values{
 		"instance": {u.Instance}, "zone": {u.Zone}, "rack": {u.Rack}, "pool": {u.pool},
-		"address": {u.announced()}, "slots": {strconv.Itoa(u.Slots)},
+		"address": {u.announcedAddress()}, "slots": {strconv.Itoa(u.Slots)},
 		"connections": {strconv.Itoa(u.Connections)},
 		"incarnation": {strconv.FormatUint(u.incarnation, 10)},
 		"state":       {state}, "health-path": {"/health"},
 	}
 }
 
-// take reads the answer to an announcement. An instance that was assigned to
-// another pool serves that pool from then on, under a higher incarnation.
-func (u *Upstream) take(answer url.Values, status int) time.Duration {
+// applyAnswer applies the answer to an announcement and returns the lease. An
+// instance that has been assigned to another pool serves that pool from then on,
+// with a higher incarnation.
+func (u *Upstream) applyAnswer(answer url.Values, status int) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.rejected = ""
+	u.rejectionReason = ""
 	if status != http.StatusOK {
-		u.rejected = answer.Get("reason")
+		u.rejectionReason = answer.Get("reason")
 		return defaultLease
 	}
 	if p := answer.Get("pool"); p != "" && p != u.pool {
 		u.pool = p
 		u.incarnation++
-		return soon
+		return reannounceLease
 	}
 	ms, err := strconv.Atoi(answer.Get("lease-ms"))
 	if err != nil || ms <= 0 {
@@ -387,6 +405,7 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// post sends a form and returns the decoded answer and the HTTP status.
 func post(ctx context.Context, to string, form url.Values) (url.Values, int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, to, strings.NewReader(form.Encode()))
 	if err != nil {
--- a/tests/config_test.go
+++ b/tests/config_test.go
@@ -143,7 +143,7 @@
 	s.inForce(v, "e1", "e2", "e3", "e4", "e5")
 	ran := 0
 	load := stand.Load{
-		Entries: s.callerAddrs("zc"), Service: "merge", Customer: "acme", Requests: 200, Workers: 4,
+		Entries: s.callerAddrs("zc"), Service: "merge", Customer: "acme", Requests: 200, Concurrency: 4,
 		Timeout: 20 * time.Second, Prefix: "cut", Pause: 50 * time.Millisecond,
 	}
 	done := make(chan stand.Summary, 1)
--- a/tests/control_test.go
+++ b/tests/control_test.go
@@ -175,8 +175,8 @@
 	// Each keyed request makes two log entries; the members keep 1,000 behind a
 	// snapshot.
 	load := stand.Load{
-		Entries: open, Service: "merge", Customer: "acme", Requests: 700, Workers: 2,
-		Keyed: true, Timeout: 20 * time.Second, Prefix: "cut",
+		Entries: open, Service: "merge", Customer: "acme", Requests: 700, Concurrency: 2,
+		IdempotencyKeys: true, Timeout: 20 * time.Second, Prefix: "cut",
 	}
 	sum := load.Run(context.Background())
 	assert.Assert(t, sum.Counts["200 ran"] > 600, "%s", sum)
--- a/tests/lend_test.go
+++ b/tests/lend_test.go
@@ -41,7 +41,7 @@
 	s := serving(t, oneZone(4))
 	load := stand.Load{
 		Entries: append(s.callerAddrs("zb"), s.callerAddrs("zc")...), Service: "merge", Customer: "acme",
-		Requests: 1500, Workers: 40, Timeout: 20 * time.Second, Prefix: "spill",
+		Requests: 1500, Concurrency: 40, Timeout: 20 * time.Second, Prefix: "spill",
 	}
 	own := load
 	own.Entries, own.Prefix = s.callerAddrs("za"), "own"
@@ -137,7 +137,7 @@
 					}
 					flood := stand.Load{
 						Entries: entries, Service: "merge", Customer: "acme",
-						Requests: 4000, Workers: 32, Timeout: 20 * time.Second, Prefix: "bench",
+						Requests: 4000, Concurrency: 32, Timeout: 20 * time.Second, Prefix: "bench",
 					}
 					begun := time.Now()
 					sum := flood.Run(context.Background())
--- a/tests/maintenance_test.go
+++ b/tests/maintenance_test.go
@@ -64,7 +64,7 @@
 	sums := make(chan stand.Summary, 1)
 	go func() {
 		sums <- stand.Load{
-			Entries: s.callerAddrs(""), Service: "merge", Customer: "acme", Requests: 1_000_000, Workers: 14,
+			Entries: s.callerAddrs(""), Service: "merge", Customer: "acme", Requests: 1_000_000, Concurrency: 14,
 			Timeout: 20 * time.Second, Prefix: "steady", Pause: 10 * time.Millisecond,
 		}.Run(ctx)
 	}()
--- a/tests/member_test.go
+++ b/tests/member_test.go
@@ -77,7 +77,7 @@
 		assert.Assert(t, strings.Contains(reason, "incarnation"), "%s", reason)
 	}
 	assert.Assert(t, len(successor.Record()) >= 3)
-	assert.Equal(t, successor.Rejected(), "")
+	assert.Equal(t, successor.RejectionReason(), "")
 }
 
 // TestContradictingAnnouncements guards against an instance that serves two
--- a/tests/pool_test.go
+++ b/tests/pool_test.go
@@ -48,7 +48,7 @@
 	done := make(chan stand.Summary, 1)
 	go func() {
 		done <- stand.Load{
-			Entries: s.callerAddrs("za"), Service: "merge", Customer: "acme", Requests: 1_000_000, Workers: 6,
+			Entries: s.callerAddrs("za"), Service: "merge", Customer: "acme", Requests: 1_000_000, Concurrency: 6,
 			Timeout: 5 * time.Second, Prefix: "steady", Pause: 5 * time.Millisecond,
 		}.Run(ctx)
 	}()
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -98,8 +98,8 @@
 func TestKeyedRequestsUnderLeaderKill(t *testing.T) {
 	s := serving(t, threeZones("merge", "merge"))
 	load := stand.Load{
-		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme", Requests: 900, Workers: 8,
-		Keyed: true, Timeout: 20 * time.Second, Prefix: "key-",
+		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme", Requests: 900, Concurrency: 8,
+		IdempotencyKeys: true, Timeout: 20 * time.Second, Prefix: "key-",
 	}
 	sums := make(chan stand.Summary, 1)
 	go func() { sums <- load.Run(context.Background()) }()
@@ -156,7 +156,7 @@
 	for _, name := range []string{"e1", "e5"} {
 		l := stand.Load{
 			Entries: []string{s.find(name).callers}, Service: "merge", Customer: "acme",
-			Requests: 4000, Workers: 4, Timeout: 20 * time.Second, Prefix: name, Pause: 2 * time.Millisecond,
+			Requests: 4000, Concurrency: 4, Timeout: 20 * time.Second, Prefix: name, Pause: 2 * time.Millisecond,
 		}
 		sums := make(chan stand.Summary, 1)
 		wg.Add(1)
@@ -241,7 +241,7 @@
 	s := serving(t, l)
 	load := stand.Load{
 		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme",
-		Requests: 3000, Workers: 200, Timeout: 20 * time.Second, Prefix: "flood",
+		Requests: 3000, Concurrency: 200, Timeout: 20 * time.Second, Prefix: "flood",
 	}
 	sum := load.Run(context.Background())
 	ran := 0
@@ -278,7 +278,7 @@
 		{stand.FaultClose, "unknown", http.StatusBadGateway, 1},
 		{stand.FaultHang, "unknown", http.StatusGatewayTimeout, 1},
 		{stand.FaultNoLength, "unknown", http.StatusBadGateway, 1},
-		{stand.FaultCrossed, "unknown", http.StatusBadGateway, 1},
+		{stand.FaultWrongID, "unknown", http.StatusBadGateway, 1},
 		{stand.FaultNotRun, "not-run", http.StatusServiceUnavailable, 0},
 		{stand.FaultFail, "ran", http.StatusInternalServerError, 1},
 	}
--- a/tests/silent_test.go
+++ b/tests/silent_test.go
@@ -18,7 +18,7 @@
 	r := newRelay(t, s.host()+":9000", address)
 	u, err := stand.Start(stand.Options{
 		Instance: "za-i00", Zone: "za", Rack: "za-r0", Pool: "merge", Slots: 8, Connections: 64,
-		Announce: []string{s.find("e1").upstreams}, Address: address, Advertise: r.Addr(),
+		AnnounceTo: []string{s.find("e1").upstreams}, Address: address, Advertise: r.Addr(),
 	})
 	assert.NilError(t, err)
 	t.Cleanup(u.Close)
@@ -42,7 +42,7 @@
 	}
 	s.wait("a served request", func() bool { return send("warm") == http.StatusOK })
 	for round := range 3 {
-		r.Forget()
+		r.SilenceConnections()
 		failed := 0
 		for n := range 6 {
 			if send(fmt.Sprintf("round-%d-%d", round, n)) != http.StatusOK {
--- a/tests/surge_test.go
+++ b/tests/surge_test.go
@@ -46,7 +46,7 @@
 		sums := make(chan stand.Summary, 1)
 		load := stand.Load{
 			Entries: s.callerAddrs(""), Service: pool, Customer: "acme",
-			Requests: 1_000_000, Workers: 120, Timeout: 20 * time.Second, Prefix: "surge-",
+			Requests: 1_000_000, Concurrency: 120, Timeout: 20 * time.Second, Prefix: "surge-",
 		}
 		go func() { sums <- load.Run(ctx) }()
 		s.wait("spare instances in pool "+pool, func() bool { return s.servingIn(pool) > 3 })
@@ -84,7 +84,7 @@
 func (s *system) checkOnePool() {
 	s.t.Helper()
 	moves := 0
-	last := map[string]stand.Run{}
+	last := map[string]stand.HandledRequest{}
 	busyUntil := map[string]clock.Millis{}
 	for _, p := range s.platform {
 		for _, r := range p.Record() {
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -208,7 +208,7 @@
 	for i, pool := range pools {
 		all = append(all, stand.Options{
 			Instance: fmt.Sprintf("%s-i%02d", zone, i), Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/4),
-			Pool: pool, Slots: 8, Connections: 64, Announce: announce, Delay: delay,
+			Pool: pool, Slots: 8, Connections: 64, AnnounceTo: announce, Delay: delay,
 			Address: s.host() + ":9000",
 		})
 	}
@@ -285,7 +285,7 @@
 	for key, r := range s.relays {
 		from, to, _ := strings.Cut(key, ">")
 		if from == zone || s.find(to).zone == zone {
-			r.Set(m)
+			r.SetMode(m)
 		}
 	}
 }
@@ -384,8 +384,8 @@
 }
 
 // record returns what all upstreams ran.
-func (s *system) record() []stand.Run {
-	var all []stand.Run
+func (s *system) record() []stand.HandledRequest {
+	var all []stand.HandledRequest
 	for _, f := range s.platform {
 		all = append(all, f.Record()...)
 	}
