core/state/jobs: define finite tasks and name the gang methods as such

A reader of sched met "tasks that end" without a definition; Step.LongRunning now defines finite tasks. The StepState methods that apply to gangs only say so in their names, and a few clipped field comments are full sentences.

--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -141,7 +141,7 @@
 	s.EndedJobs = append(s.EndedJobs, r.ID)
 }
 
-// removeExpired removes jobs that ended at least Retention ago.
+// removeExpired removes the jobs that ended at least Retention ago.
 func (s *State) removeExpired() {
 	for len(s.EndedJobs) > 0 {
 		r := s.Jobs[s.EndedJobs[0]]
@@ -200,7 +200,7 @@
 func (r *Record) Failures(occurrence, step int) int {
 	state := &r.Occurrences[occurrence].Steps[step]
 	if r.Steps[step].Gang {
-		return state.failures()
+		return state.gangFailures()
 	}
 	n := 0
 	for i := range state.Tasks {
@@ -209,8 +209,9 @@
 	return n
 }
 
-// failures returns the number of failed runs of a gang.
-func (st *StepState) failures() int {
+// gangFailures returns the number of failed runs of a gang: the highest count of
+// its tasks.
+func (st *StepState) gangFailures() int {
 	n := 0
 	for i := range st.Tasks {
 		n = max(n, st.Tasks[i].Failures)
@@ -218,10 +219,10 @@
 	return n
 }
 
-// setCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint of one
+// setGangCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint of one
 // task is valid for the whole gang, and all tasks must resume from the same
 // one.
-func (st *StepState) setCheckpoint(checkpoint string) {
+func (st *StepState) setGangCheckpoint(checkpoint string) {
 	for i := range st.Tasks {
 		st.Tasks[i].Checkpoint = checkpoint
 	}
@@ -237,7 +238,7 @@
 		return
 	}
 	if r.Steps[op.Task.Step].Gang {
-		t.Failures = r.stepState(op.Task).failures()
+		t.Failures = r.stepState(op.Task).gangFailures()
 	}
 	t.Phase, t.Run, t.Worker, t.Incarnation = PhaseAssigned, op.Run, op.Worker, op.Incarnation
 	r.EverAssigned = true
@@ -260,7 +261,7 @@
 	if op.Checkpoint != "" {
 		t.Checkpoint = op.Checkpoint
 		if step.Gang {
-			r.stepState(op.Task).setCheckpoint(op.Checkpoint)
+			r.stepState(op.Task).setGangCheckpoint(op.Checkpoint)
 		}
 	}
 	switch {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// Fits reports whether free has enough of every resource.
+// Fits reports whether free has at least r of every resource.
 func (r Resources) Fits(free Resources) bool {
 	return r.MilliCores <= free.MilliCores && r.MemoryMiB <= free.MemoryMiB && r.Accelerators <= free.Accelerators
 }
@@ -79,8 +79,8 @@
 	Pool   PoolName
 	// Priority 0 is the highest.
 	Priority int
-	// MaxAttempts is the number of failed runs of one task that fails its job;
-	// at least 1.
+	// MaxAttempts is the number of failed runs of one task after which the job
+	// fails; at least 1.
 	MaxAttempts int
 	// Target and StretchPermille define a job's deadline: the target plus the
 	// length of its critical path multiplied by StretchPermille/1000.
@@ -103,7 +103,7 @@
 	LatencyPerWorker clock.Millis
 }
 
-// Pool is a set of workers of the configuration.
+// Pool is the configuration of one pool of workers.
 type Pool struct {
 	Name PoolName
 	// Standby is set for a pool of machines that are powered off.
@@ -123,7 +123,7 @@
 	Pools    []Pool
 }
 
-// Step is one step of a job.
+// Step is a set of equal tasks of a job.
 type Step struct {
 	// TaskCount is at least 1.
 	TaskCount int
@@ -131,8 +131,8 @@
 	Resources Resources
 	// Estimate is the approximate duration of one task.
 	Estimate clock.Millis
-	// DependsOn lists the earlier steps that must be done before this one
-	// starts.
+	// DependsOn lists the indexes of the earlier steps that must be done before
+	// this one starts.
 	DependsOn []int
 	// Checkpoints is set when the tasks write checkpoints.
 	Checkpoints bool
@@ -150,7 +150,8 @@
 	MaxPerWorker int
 	// Speculative allows several concurrent runs of a task.
 	Speculative bool
-	// LongRunning tasks run until the job is cancelled.
+	// LongRunning tasks run until the job is cancelled. All other tasks are
+	// finite: they end when their work is done.
 	LongRunning bool
 	Image       string
 	// LatencyTarget is the limit on the tail latency of a serving task; 0 for
@@ -288,7 +289,7 @@
 	DeclaredAt clock.Millis
 	Deadline   clock.Millis
 	// Ordered holds the machines whose maintenance may have been ordered.
-	// Started holds those of them whose maintenance was confirmed or that no
+	// Started holds the machines whose maintenance was confirmed or that no
 	// longer exist.
 	Ordered map[MachineID]bool
 	Started map[MachineID]bool
@@ -304,8 +305,8 @@
 const (
 	// ResultDone means that the run completed successfully.
 	ResultDone Result = iota
-	// ResultFailed means that the run failed. Only failed runs count as
-	// attempts.
+	// ResultFailed means that the run failed. Only failed runs count towards
+	// MaxAttempts.
 	ResultFailed
 	ResultStopped
 	// ResultExpired means that the worker's lease expired.
