core/state/sched: reword names and comments that misled a first reader

inWave, makeAvailable, reply, outage and free named something other than what they stand for; they are now mayBeDown, clearGoingDown, addReplies, down and toOrder. Five log reasons used "life", "peers" and "away", which nothing else in the code does; they say incarnation, other workers and unavailable.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -72,7 +72,7 @@
 
 // adviceOf returns the policy of a job's queue; the zero value for a queue
 // without advice.
-func (s *Scheduler[P, H]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return s.adviceRules[r.Queue] }
+func (s *Scheduler[P, H]) adviceOf(r *jobs.Record) jobs.AdvicePolicy { return s.queueAdvice[r.Queue] }
 
 // ticket returns a worker's ticket for a step and whether it is valid for a
 // start now.
@@ -154,7 +154,8 @@
 
 // adviceRequestSize returns the number of workers to name in a request: the
 // number that the waiting tasks need, divided by the share of approved workers
-// so far.
+// so far, which is taken as one half before the first response. w is one of the
+// candidates; the others are assumed to be as large.
 func (s *Scheduler[P, H]) adviceRequestSize(g *taskGroup, w *worker) int {
 	wanted := (len(g.waiting) + w.fitCount(w.capacity, g) - 1) / w.fitCount(w.capacity, g)
 	count := s.advice.counts[g.rec.Queue]
@@ -165,23 +166,23 @@
 func (s *Scheduler[P, H]) handleAdvice(action Action, outcome Outcome, now clock.Millis) {
 	incarnations, requestedAt, key := s.advice.pendingWorkers, s.advice.requestedAt, s.advice.pendingStep
 	s.advice.pendingWorkers = nil
-	step, rec := s.advice.steps[key], s.State.Jobs[key.job]
-	if step == nil || rec == nil || rec.Status.Final() {
+	advice, rec := s.advice.steps[key], s.State.Jobs[key.job]
+	if advice == nil || rec == nil || rec.Status.Final() {
 		return
 	}
-	step.nextRequest = now
+	advice.nextRequest = now
 	if outcome.Answer != AnswerDone {
-		step.nextRequest = now + adviceRetryMillis
+		advice.nextRequest = now + adviceRetryMillis
 		s.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(action.Workers), outcome), true)
 		return
 	}
 	for id, incarnation := range incarnations {
-		step.verdicts[id] = adviceVerdict{incarnation: incarnation}
+		advice.verdicts[id] = adviceVerdict{incarnation: incarnation}
 	}
 	approved := 0
 	for _, t := range outcome.Tickets {
 		if incarnation, ok := incarnations[t.Worker]; ok && t.Text != "" {
-			step.verdicts[t.Worker] = adviceVerdict{incarnation: incarnation, ticket: t.Text, validUntil: requestedAt + s.adviceOf(rec).TicketValidity}
+			advice.verdicts[t.Worker] = adviceVerdict{incarnation: incarnation, ticket: t.Text, validUntil: requestedAt + s.adviceOf(rec).TicketValidity}
 			approved++
 		}
 	}
@@ -191,7 +192,7 @@
 	s.dirtyPools[s.pool(s.poolOf(rec))] = true
 }
 
-// forgetAdvice drops the verdicts for the steps of a job that has ended.
+// forgetAdvice drops the verdicts on the steps of a job that has ended.
 func (s *Scheduler[P, H]) forgetAdvice(r *jobs.Record) {
 	if len(s.advice.steps) == 0 {
 		return
@@ -205,7 +206,7 @@
 
 // dropTicket drops the ticket of a run that the worker refused.
 func (s *Scheduler[P, H]) dropTicket(w *worker, r *run) {
-	if a := s.advice.steps[stepKeyOf(r.task)]; a != nil {
-		delete(a.verdicts, w.id)
+	if advice := s.advice.steps[stepKeyOf(r.task)]; advice != nil {
+		delete(advice.verdicts, w.id)
 	}
 }
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -13,8 +13,8 @@
 // off the resources that become free.
 const gangWaitMillis clock.Millis = 200
 
-// startGang starts all tasks of a gang at once if there is room for them. It
-// returns false only if the gang is ready to start but cannot be placed.
+// startGang starts all tasks of a gang at once if there is capacity for them. It
+// returns false only if all tasks are waiting but cannot be placed.
 func (s *Scheduler[P, H]) startGang(p *pool, g *taskGroup, now clock.Millis) bool {
 	if len(g.waiting) < g.step.TaskCount {
 		return true
@@ -67,7 +67,7 @@
 func (s *Scheduler[P, H]) chooseFromRack(p *pool, g *taskGroup, rack string, now clock.Millis) []*worker {
 	failed := s.failedWorkers(g)
 	byScore := slices.SortedFunc(maps.Values(p.available), func(x, y *worker) int {
-		if scoreX, scoreY := s.score(x, g), s.score(y, g); scoreX.better(scoreY) {
+		if scoreX, scoreY := s.scoreWorker(x, g), s.scoreWorker(y, g); scoreX.better(scoreY) {
 			return -1
 		}
 		return 1
@@ -161,8 +161,8 @@
 	state := &r.Occurrences[t.Occurrence].Steps[t.Step]
 	for n := range state.Tasks {
 		id := stepKeyOf(t).taskID(n)
-		if w, x := s.assignedRun(id, &state.Tasks[n]); x != nil {
-			s.stopRun(w, x, "another task of its gang ended")
+		if w, other := s.assignedRun(id, &state.Tasks[n]); other != nil {
+			s.stopRun(w, other, "another task of its gang ended")
 		}
 	}
 }
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -19,14 +19,14 @@
 	if w != nil && (h.Incarnation < w.incarnation || (h.Incarnation == w.incarnation && w.reported && h.Seq <= w.seq)) {
 		return false
 	}
-	if m := s.workerByMachine[h.Machine]; m != nil && m.id != h.Worker && h.Incarnation < m.incarnation {
+	if other := s.workerByMachine[h.Machine]; other != nil && other.id != h.Worker && h.Incarnation < other.incarnation {
 		return false
 	}
 	if h.Incarnation <= s.removedIncarnations[h.Worker] {
 		return false
 	}
 	if w != nil && h.Incarnation > w.incarnation {
-		s.dropWorker(w, "a new life of the worker began", now)
+		s.dropWorker(w, "a new incarnation of the worker started", now)
 		w = nil
 	}
 	if w == nil {
@@ -68,8 +68,8 @@
 
 // updateWorker updates the worker from its heartbeat.
 func (s *Scheduler[P, H]) updateWorker(w *worker, h Heartbeat, now clock.Millis) {
-	if m := s.workerByMachine[h.Machine]; m != nil && m != w {
-		s.dropWorker(m, "another worker runs on its machine", now)
+	if other := s.workerByMachine[h.Machine]; other != nil && other != w {
+		s.dropWorker(other, "another worker runs on its machine", now)
 	}
 	if w.pool != h.Pool && w.pool != "" {
 		delete(s.pool(w.pool).available, w.id)
@@ -220,9 +220,10 @@
 }
 
 // repeatOrders repeats the orders that, according to the heartbeat, did not
-// arrive. A heartbeat that does not list a run was sent after the worker had
-// processed or dropped the reply with its start order, so that reply can no
-// longer start it.
+// arrive, and stops the runs that are not assigned to the worker. A heartbeat
+// that does not list a run was sent after the worker had processed or dropped
+// the reply with its start order, so that reply can no longer start it; if the
+// run should not start any more, it is ended as lost.
 func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
 	for t, extra := range w.unassigned {
 		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
@@ -336,7 +337,7 @@
 	if w.failureScore >= s.healthPolicy.Threshold() && w.failedJobsInRow >= quarantineFailedJobs && w.quarantinedUntil <= now {
 		w.quarantinedUntil = now + s.settings.QuarantineMillis
 		w.failureScore = s.healthPolicy.Threshold() / 2
-		s.noteRun(DecisionQuarantined, r, w, "it fails what its peers run")
+		s.noteRun(DecisionQuarantined, r, w, "its tasks fail although they succeed on other workers")
 	}
 }
 
@@ -365,7 +366,8 @@
 }
 
 // predictNextEnd predicts when the next task of the worker ends, from the
-// task's progress or, without progress, its estimate.
+// task's progress or, without progress, three quarters of its estimate. ok is
+// false for a worker without finite tasks.
 func (w *worker) predictNextEnd(now clock.Millis) (at clock.Millis, ok bool) {
 	for _, r := range w.runs {
 		if r.step.LongRunning {
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -22,7 +22,7 @@
 	}
 	clear(s.dirtyPools)
 	s.rebalance(now)
-	s.reply(now)
+	s.addReplies(now)
 	plan := s.plan
 	plan.NextPass = s.nextPass(now)
 	s.plan = Plan{}
@@ -130,17 +130,17 @@
 // even if it was excluded for another reason.
 func (s *Scheduler[P, H]) chooseWorker(p *pool, g *taskGroup, t jobs.TaskID, now clock.Millis) (best *worker, hasCapacity bool) {
 	reserved := reservation(g.step)
-	failed := s.lastFailedOn[t]
+	failedOn := s.lastFailedOn[t]
 	var bestScore score
 	for _, w := range p.available {
 		if !reserved.Fits(w.capacity.Minus(w.used)) {
 			continue
 		}
 		hasCapacity = true
-		if (w.id == failed && now-g.waitingSince < otherWorkerMillis) || !s.canRun(w, g, now) {
+		if (w.id == failedOn && now-g.waitingSince < otherWorkerMillis) || !s.canRun(w, g, now) {
 			continue
 		}
-		if candidate := s.score(w, g); best == nil || candidate.better(bestScore) {
+		if candidate := s.scoreWorker(w, g); best == nil || candidate.better(bestScore) {
 			best, bestScore = w, candidate
 		}
 	}
@@ -190,7 +190,8 @@
 	// free is the number of free milli-cores. A fuller worker is preferred, so
 	// that other workers run nothing and can be moved or powered off.
 	free int
-	id   jobs.WorkerID
+	// id breaks ties.
+	id jobs.WorkerID
 }
 
 func (s score) better(t score) bool {
@@ -200,7 +201,7 @@
 	return cmp.Or(cmp.Compare(t.spreadCost, s.spreadCost), cmp.Compare(t.free, s.free), cmp.Compare(t.id, s.id)) > 0
 }
 
-func (s *Scheduler[P, H]) score(w *worker, g *taskGroup) score {
+func (s *Scheduler[P, H]) scoreWorker(w *worker, g *taskGroup) score {
 	result := score{free: w.capacity.MilliCores - w.used.MilliCores, id: w.id}
 	result.nearData = g.step.DataRack != "" && g.step.DataRack == w.rack
 	if g.step.LongRunning {
@@ -220,9 +221,10 @@
 	firstLongRunningCost = 5
 )
 
-// spreadCost weighs the tasks of the step that would be lost together with the
-// worker or its rack, and the serving tasks that a best-effort task would
-// disturb.
+// spreadCost returns the cost of placing a long-running task of the group on a
+// worker. It counts the tasks of the step that would be lost together with the
+// worker or its rack, and the serving tasks that a best-effort task would slow
+// down.
 func (s *Scheduler[P, H]) spreadCost(w *worker, g *taskGroup) int {
 	cost := sameStepCost * w.taskCount(g.key)
 	if !w.hasLongRunning() {
@@ -241,8 +243,8 @@
 	return cost
 }
 
-// reply adds to the plan the replies to the heartbeats that are due.
-func (s *Scheduler[P, H]) reply(now clock.Millis) {
+// addReplies adds the replies that are due to the plan.
+func (s *Scheduler[P, H]) addReplies(now clock.Millis) {
 	for s.replyDeadlines.Len() > 0 && s.replyDeadlines.Top().at <= now {
 		d := s.replyDeadlines.Pop()
 		w := d.w
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -14,7 +14,8 @@
 type Rank struct {
 	// Class takes precedence over Key and Seq.
 	Class int
-	Key   clock.Millis
+	// Key orders the work of a class, for example by its deadline.
+	Key clock.Millis
 	// Seq breaks ties by the order of acceptance.
 	Seq uint64
 }
@@ -39,21 +40,23 @@
 }
 
 // EarliestDeadline places work in the order of deadlines, and work that will
-// miss its deadline after all work that can still meet it. Without the second
-// rule every job of a load that exceeds the workers for some seconds would
-// start just too late.
+// miss its deadline after all work that can still meet it. It is meant for a
+// load that exceeds the capacity of the workers for some seconds and is below it
+// afterwards: without the second rule every job of such a peak would start just
+// too late.
 type EarliestDeadline struct{}
 
-// Rank ranks work by deadline, after long-running work and ahead of late work.
+// Rank ranks long-running work first, by priority, then work that can meet its
+// deadline and last late work, both by deadline.
 func (EarliestDeadline) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
-	k := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
+	rank := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
 	switch {
 	case hasLongRunningStep(&r.Job):
-		k.Class, k.Key = classLongRunning, clock.Millis(r.Priority)
-	case k.Key < now+remainingPath(r, occurrence):
-		k.Class = classLate
+		rank.Class, rank.Key = classLongRunning, clock.Millis(r.Priority)
+	case rank.Key < now+remainingPath(r, occurrence):
+		rank.Class = classLate
 	}
-	return k
+	return rank
 }
 
 // remainingPath returns the length of the longest chain of dependent steps that
@@ -146,8 +149,8 @@
 }
 
 // Before orders by due time, then job and occurrence.
-func (l scheduledOccurrence) Before(m scheduledOccurrence) bool {
-	return cmp.Or(cmp.Compare(l.dueAt, m.dueAt), cmp.Compare(l.job, m.job), cmp.Compare(l.occurrence, m.occurrence)) < 0
+func (o scheduledOccurrence) Before(other scheduledOccurrence) bool {
+	return cmp.Or(cmp.Compare(o.dueAt, other.dueAt), cmp.Compare(o.job, other.job), cmp.Compare(o.occurrence, other.occurrence)) < 0
 }
 
 // liveWorkers iterates over the workers of a pool that have sent a heartbeat in
@@ -286,9 +289,9 @@
 // queueDueOccurrences queues the occurrences that have become due.
 func (s *Scheduler[P, H]) queueDueOccurrences(now clock.Millis) {
 	for s.scheduled.Len() > 0 && s.scheduled.Top().dueAt <= now {
-		l := s.scheduled.Pop()
-		if r := s.State.Jobs[l.job]; r != nil && !r.Status.Final() {
-			s.queueOccurrence(r, l.occurrence, now)
+		next := s.scheduled.Pop()
+		if r := s.State.Jobs[next.job]; r != nil && !r.Status.Final() {
+			s.queueOccurrence(r, next.occurrence, now)
 		}
 	}
 }
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -53,7 +53,8 @@
 	listFailed      bool
 	listRequestedAt clock.Millis
 	listedAt        clock.Millis
-	// hadFiniteWork is set once a job without long-running tasks was submitted.
+	// hadFiniteWork is set once a job without long-running tasks was submitted;
+	// see the method of the same name.
 	hadFiniteWork bool
 	// nextRebalance is the time of the next check of the load, and notedAt that
 	// of the latest notes about it.
@@ -85,8 +86,8 @@
 	machines int
 	needed   int
 	// idle lists the workers that run nothing, the longest idle first. busy
-	// lists the workers that run only tasks that end, those being vacated and
-	// then the least busy first.
+	// lists the workers that run only finite tasks: first those being vacated,
+	// then the others, the least busy first.
 	idle []*worker
 	busy []*worker
 }
@@ -108,7 +109,7 @@
 	for m, move := range s.fleet.moves {
 		if now-move.orderedAt > moveTimeoutMillis {
 			delete(s.fleet.moves, m)
-			s.makeAvailable(s.workerByMachine[m], move.incarnation)
+			s.clearGoingDown(s.workerByMachine[m], move.incarnation)
 		}
 	}
 	loads := s.poolLoads(now)
@@ -374,7 +375,7 @@
 // reports whether it found one.
 func (s *Scheduler[P, H]) bringMachine(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
 	for _, m := range slices.Sorted(maps.Keys(s.fleet.standby)) {
-		if s.fleet.notMovableUntil[m] <= now && !s.inWave(m) {
+		if s.fleet.notMovableUntil[m] <= now && !s.mayBeDown(m) {
 			delete(s.fleet.standby, m)
 			s.orderMove(m, 0, target, now)
 			return true
@@ -434,9 +435,9 @@
 	}
 }
 
-// inWave reports whether a machine may be down for a wave. Such a machine is
+// mayBeDown reports whether a machine may be down for a wave. Such a machine is
 // not moved.
-func (s *Scheduler[P, H]) inWave(m jobs.MachineID) bool {
+func (s *Scheduler[P, H]) mayBeDown(m jobs.MachineID) bool {
 	for _, v := range s.waves {
 		if _, isDown := v.down[m]; isDown || v.pending[m] {
 			return true
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -31,12 +31,13 @@
 	// poolByQueue maps the configured queues to their pools.
 	poolByQueue map[jobs.QueueName]jobs.PoolName
 	// configVersion is the version of the configuration that poolByQueue and
-	// adviceRules were built from.
+	// queueAdvice were built from.
 	configVersion uint64
-	// adviceRules holds the policies of the configured queues that have advice.
-	adviceRules map[jobs.QueueName]jobs.AdvicePolicy
+	// queueAdvice holds the advice policies of the configured queues that have
+	// advice.
+	queueAdvice map[jobs.QueueName]jobs.AdvicePolicy
 	advice      adviceState
-	// now is the latest time that a call has passed.
+	// now is the latest time that a caller has passed.
 	now clock.Millis
 	// termStart is when this process became leader.
 	termStart clock.Millis
@@ -244,8 +245,8 @@
 // PendingOps returns the number of operations since the last plan.
 func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
 
-// readConfig rebuilds poolByQueue and adviceRules when a new configuration is
-// in force.
+// readConfig rebuilds poolByQueue and queueAdvice when a new configuration
+// is in force.
 func (s *Scheduler[P, H]) readConfig() {
 	c := &s.State.Config
 	if s.poolByQueue != nil && c.Version == s.configVersion {
@@ -253,11 +254,11 @@
 	}
 	s.configVersion = c.Version
 	s.poolByQueue = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
-	s.adviceRules = map[jobs.QueueName]jobs.AdvicePolicy{}
+	s.queueAdvice = map[jobs.QueueName]jobs.AdvicePolicy{}
 	for _, q := range c.Queues {
 		s.poolByQueue[q.Name] = q.Pool
 		if q.Advice.TicketValidity > 0 {
-			s.adviceRules[q.Name] = q.Advice
+			s.queueAdvice[q.Name] = q.Advice
 		}
 	}
 }
@@ -285,7 +286,7 @@
 }
 
 // noteJobEnd explains the final status of a job: how long it took, by how much
-// it was late, and how many runs it needed.
+// it was late, and how many runs it needed. It also drops the job's advice.
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
@@ -322,8 +323,8 @@
 // stopJobRuns stops all runs of a job that has ended.
 func (s *Scheduler[P, H]) stopJobRuns(r *jobs.Record) {
 	for id, state := range r.Tasks() {
-		if w, x := s.assignedRun(id, state); x != nil {
-			s.stopRun(w, x, r.Status.String())
+		if w, assigned := s.assignedRun(id, state); assigned != nil {
+			s.stopRun(w, assigned, r.Status.String())
 		}
 	}
 }
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -62,15 +62,15 @@
 	Run  int
 	// Checkpoint is the latest checkpoint; empty for none.
 	Checkpoint string
-	// Percent is the progress of a task that ends, and 100 for a long-running
-	// task that is serving.
+	// Percent is the progress of a finite task, and 100 for a long-running task
+	// that is serving.
 	Percent int
 	// Load is the tail latency of a serving task in milliseconds, and the
 	// processor use of any other task in permille.
 	Load int
 }
 
-// RunEnd is the end of a run.
+// RunEnd reports the end of a run.
 type RunEnd struct {
 	// Number counts the run ends of one incarnation of a worker from 1.
 	Number     int64
@@ -80,7 +80,7 @@
 	Checkpoint string
 }
 
-// Heartbeat is a heartbeat of a worker.
+// Heartbeat is a worker's periodic report of its state.
 type Heartbeat struct {
 	Worker      jobs.WorkerID
 	Incarnation jobs.Incarnation
@@ -158,7 +158,8 @@
 	ActionAdvise
 )
 
-// Action is a request to the platform.
+// Action is a request to the platform, which manages the machines and provides
+// the advice service.
 type Action struct {
 	Kind    ActionKind
 	Machine jobs.MachineID
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/jobs"
 )
 
-// orderRetryMillis is the pause before the order for a machine is repeated
-// after it was refused for now or its answer was lost.
+// orderRetryMillis is the pause before a maintenance order is repeated after it
+// was refused for now or its answer was lost.
 const orderRetryMillis clock.Millis = 400
 
 // refusalsBeforeList is the number of refusals of a machine after which the
@@ -34,8 +34,8 @@
 	// refusals counts the refusals of a machine since the last list of
 	// machines.
 	refusals map[jobs.MachineID]int
-	// repeated holds the machines that were ordered more than once: a positive
-	// answer may then refer to the first order.
+	// repeated holds the machines whose maintenance was ordered more than once:
+	// a positive answer may then refer to the first order.
 	repeated map[jobs.MachineID]bool
 }
 
@@ -54,7 +54,7 @@
 		Wave: w, down: map[jobs.MachineID]downtime{}, nextOrder: map[jobs.MachineID]clock.Millis{},
 		pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
 	}
-	// The machines that an earlier leader ordered may be down now.
+	// Machines whose maintenance an earlier leader ordered may be down now.
 	for m := range w.Ordered {
 		v.down[m] = downtime{}
 	}
@@ -96,27 +96,27 @@
 // off, has none that could return, so a downtime also ends after the time that
 // a maintenance can take.
 func (s *Scheduler[P, H]) clearReturned(v *wave, now clock.Millis) {
-	for m, outage := range v.down {
+	for m, down := range v.down {
 		if v.pending[m] {
 			continue
 		}
 		w := s.workerByMachine[m]
-		returned := w != nil && outage.incarnation != 0 && w.incarnation != outage.incarnation
+		returned := w != nil && down.incarnation != 0 && w.incarnation != down.incarnation
 		longest := 2 * s.settings.MaintenanceMillis
-		if outage.incarnation != 0 {
+		if down.incarnation != 0 {
 			longest += s.settings.MaintenanceMillis
 		}
-		if returned || now >= max(outage.since, s.termStart)+longest {
+		if returned || now >= max(down.since, s.termStart)+longest {
 			delete(v.down, m)
-			s.makeAvailable(w, outage.incarnation)
+			s.clearGoingDown(w, down.incarnation)
 		}
 	}
 }
 
-// makeAvailable gives tasks again to a worker whose machine should have been
-// maintained or moved but is still there after the time that this takes: the
-// order was not carried out.
-func (s *Scheduler[P, H]) makeAvailable(w *worker, incarnation jobs.Incarnation) {
+// clearGoingDown allows new tasks on a worker whose machine should have been
+// maintained or moved, if the same incarnation still runs after the time that
+// this takes: the order was not carried out. w may be nil.
+func (s *Scheduler[P, H]) clearGoingDown(w *worker, incarnation jobs.Incarnation) {
 	if w != nil && w.incarnation == incarnation && w.goingDown {
 		w.goingDown = false
 		s.dirtyPools[s.pool(w.pool)] = true
@@ -138,7 +138,7 @@
 	slices.SortStableFunc(remaining, func(x, y jobs.MachineID) int {
 		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
 	})
-	free, toCordon := parallel-len(v.down), parallel
+	toOrder, toCordon := parallel-len(v.down), parallel
 	for _, m := range remaining {
 		w := s.workerByMachine[m]
 		_, isDown := v.down[m]
@@ -150,8 +150,8 @@
 		case isDown:
 			// The answer to an earlier order was lost.
 			s.orderMaintenance(v, m, w, now)
-		case free > 0 && s.mayGoDown(v, w, now):
-			free--
+		case toOrder > 0 && s.mayGoDown(v, w, now):
+			toOrder--
 			s.orderMaintenance(v, m, w, now)
 		case w != nil && toCordon > 0:
 			toCordon--
@@ -172,13 +172,13 @@
 func (s *Scheduler[P, H]) requiredParallelism(v *wave, now clock.Millis) int {
 	remaining := clock.Millis(len(v.Machines) - len(v.Started))
 	perMachine := s.settings.MaintenanceMillis + s.settings.MaxHoldMillis
-	available := max(v.Deadline-deadlineMarginMillis-now, perMachine)
-	return int(min(max((remaining*perMachine+available-1)/available, 1), clock.Millis(v.MaxDown)))
+	timeLeft := max(v.Deadline-deadlineMarginMillis-now, perMachine)
+	return int(min(max((remaining*perMachine+timeLeft-1)/timeLeft, 1), clock.Millis(v.MaxDown)))
 }
 
 // disruptionCost orders the machines for maintenance, lowest first: machines
-// without a worker, then those of pools without waiting work and with few
-// running tasks that end.
+// without a worker, then those of pools without waiting work and with few finite
+// tasks.
 func (s *Scheduler[P, H]) disruptionCost(m jobs.MachineID) int {
 	w := s.workerByMachine[m]
 	if w == nil {
@@ -250,7 +250,7 @@
 	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
 		if stepKeyOf(id) == k && r.listed && !r.stopping {
-			s.stopRun(w, r, fmt.Sprintf("%d of its step are on a machine to be maintained, no other is away", n))
+			s.stopRun(w, r, fmt.Sprintf("%d tasks of its step are on a machine to be maintained, no other is unavailable", n))
 			return
 		}
 	}
@@ -291,18 +291,18 @@
 	if !v.Ordered[m] {
 		s.apply(jobs.Op{Kind: jobs.OpMaintenanceOrdered, WaveNumber: v.Number, Machine: m}, now)
 	}
-	outage := downtime{since: now}
+	down := downtime{since: now}
 	if w != nil {
-		outage.incarnation = w.incarnation
+		down.incarnation = w.incarnation
 		w.cordoned, w.goingDown = true, true
 	}
 	if previous, ok := v.down[m]; ok {
-		outage.since = previous.since
+		down.since = previous.since
 		if previous.incarnation != 0 {
-			outage.incarnation = previous.incarnation
+			down.incarnation = previous.incarnation
 		}
 	}
-	v.down[m] = outage
+	v.down[m] = down
 	s.noteMaintenanceOrder(v, m, w)
 	v.pending[m] = true
 	v.nextOrder[m] = now + orderRetryMillis
@@ -313,13 +313,13 @@
 // MaxUnavailable it ends, and how many tasks of their step are unavailable
 // then.
 func (s *Scheduler[P, H]) noteMaintenanceOrder(v *wave, m jobs.MachineID, w *worker) {
-	reason := fmt.Sprintf("machine %s for wave %d, %d of it down or on their way", m, v.Number, len(v.down))
+	reason := fmt.Sprintf("machine %s for wave %d, %d of its machines are down or ordered to go down", m, v.Number, len(v.down))
 	if w != nil {
 		for _, t := range sortedTaskIDs(w.runs) {
 			r := w.runs[t]
 			if r.step.MaxUnavailable > 0 {
 				unavailable := s.unavailable(r.rec, stepKeyOf(t))
-				reason += fmt.Sprintf("; ends %s step %d index %d, %d away with it of %d", t.Job, t.Step, t.Index, unavailable, r.step.MaxUnavailable)
+				reason += fmt.Sprintf("; ends %s step %d index %d, %d of at most %d unavailable with it", t.Job, t.Step, t.Index, unavailable, r.step.MaxUnavailable)
 			}
 		}
 	}
@@ -410,8 +410,8 @@
 	}
 }
 
-// dropMissingMachines marks the machines of waves that no longer exist as
-// started, so that the waves do not wait for them.
+// dropMissingMachines marks the maintenance of machines that no longer exist as
+// started, so that their waves do not wait for them.
 func (s *Scheduler[P, H]) dropMissingMachines(listed map[jobs.MachineID]bool, now clock.Millis) {
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
@@ -427,8 +427,8 @@
 	}
 }
 
-// nextMaintenanceCheck returns when the waves must be checked next; false if no
-// wave is open.
+// nextMaintenanceCheck returns when the waves must be checked next; false if
+// all waves are completed.
 func (s *Scheduler[P, H]) nextMaintenanceCheck(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range s.waves {
 		if !v.Completed() {
