core/state/sched: name the simulation's run keys and failure counts

failedRun was the key of any run, fails, failed and failf stood side by side, and the comment on deliver named a constant that no longer exists. Only identifiers and comments of tests change.

--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -142,8 +142,8 @@
 	for n := range 40 {
 		f.now += 50
 		// A later job waits for each task that ends.
-		one := smallStep
-		f.submit(fmt.Sprint("later", n), one)
+		small := smallStep
+		f.submit(fmt.Sprint("later", n), small)
 		var ends []RunEnd
 		if len(running) > 0 {
 			number++
@@ -202,8 +202,8 @@
 // racks, where its tasks take several times as long, although one rack has
 // capacity now or soon, and against waiting although no rack is large enough.
 func TestGangKeepsToOneRack(t *testing.T) {
-	one := gangStep
-	one.TaskCount, one.SameRack = 5, true
+	sameRack := gangStep
+	sameRack.TaskCount, sameRack.SameRack = 5, true
 	for _, c := range []struct {
 		name string
 		// racks are the racks of the workers that send a heartbeat. busy is the
@@ -230,7 +230,7 @@
 				f.now += f.settings.MaxHoldMillis
 				f.Pass(f.now)
 			}
-			f.submit("g", one)
+			f.submit("g", sameRack)
 			for n, rack := range c.racks {
 				heartbeatFrom(fmt.Sprint("w", n), rack)
 			}
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -24,8 +24,10 @@
 // simLeader is a process that leads or believes that it does. Its scheduler is
 // ahead of the committed state until its operations are committed.
 type simLeader struct {
-	scheduler   *testScheduler
-	token       uint64
+	scheduler *testScheduler
+	// token is the fencing token of the leader; it increases with each election.
+	token uint64
+	// confirmedAt is when the process last knew that it leads.
 	confirmedAt clock.Millis
 }
 
@@ -40,11 +42,11 @@
 	token       uint64
 	leaseUntil  clock.Millis
 	runs        map[jobs.TaskID]*simRun
-	// closed holds the highest run number that was stopped or has ended, by
+	// endedRuns holds the highest run number that was stopped or has ended, by
 	// task.
-	closed  map[jobs.TaskID]int
-	ends    []RunEnd
-	lastEnd int64
+	endedRuns map[jobs.TaskID]int
+	ends      []RunEnd
+	lastEnd   int64
 	// heartbeatLeader is the leader that accepted the pending heartbeat.
 	heartbeatLeader *simLeader
 	// sentAt is when the pending heartbeat was sent; 0 for none.
@@ -70,17 +72,18 @@
 
 // simReply is a reply in transit to a worker.
 type simReply struct {
-	to        *simWorker
-	orders    Orders
+	to     *simWorker
+	orders Orders
+	// lease is the duration of the granted lease, from sentAt on.
 	lease     clock.Millis
 	token     uint64
 	sentAt    clock.Millis
 	arrivesAt clock.Millis
 }
 
-// failedRun identifies a run by its task or, for a gang, by the first task of
-// the gang.
-type failedRun struct {
+// runKey identifies a run by its number and its task or, for a gang, the first
+// task of the gang.
+type runKey struct {
 	task jobs.TaskID
 	run  int
 }
@@ -99,10 +102,11 @@
 	workers []*simWorker
 	replies []simReply
 	// done holds the tasks that were recorded as done.
-	done  map[jobs.TaskID]bool
-	fails map[jobs.TaskID]int
-	// failed holds the runs that are counted in fails.
-	failed          map[failedRun]bool
+	done map[jobs.TaskID]bool
+	// failures counts the failed runs of each task.
+	failures map[jobs.TaskID]int
+	// countedFailures holds the runs that are counted in failures.
+	countedFailures map[runKey]bool
 	submitted       int
 	nextIncarnation jobs.Incarnation
 	settings        Settings
@@ -114,7 +118,7 @@
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
-		fails: map[jobs.TaskID]int{}, failed: map[failedRun]bool{}, nextIncarnation: 1, settings: Defaults(),
+		failures: map[jobs.TaskID]int{}, countedFailures: map[runKey]bool{}, nextIncarnation: 1, settings: Defaults(),
 	}
 	sim.settings.BacklogTargetMillis = 0
 	sim.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
@@ -132,7 +136,7 @@
 	sim.nextIncarnation++
 	return &simWorker{
 		id: jobs.WorkerID(fmt.Sprint("w", n)), incarnation: sim.nextIncarnation, machine: jobs.MachineID(fmt.Sprint("m", n)),
-		runs: map[jobs.TaskID]*simRun{}, closed: map[jobs.TaskID]int{}, capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
+		runs: map[jobs.TaskID]*simRun{}, endedRuns: map[jobs.TaskID]int{}, capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
 		failing: !sim.faultsOff && sim.rand.IntN(20) == 0, stuck: !sim.faultsOff && sim.rand.IntN(30) == 0,
 	}
 }
@@ -280,18 +284,18 @@
 			tasks = append(tasks, jobs.TaskID{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: o.Task.Step, Index: n})
 		}
 	}
-	failed := failedRun{tasks[0], o.Run}
+	key := runKey{tasks[0], o.Run}
 	for _, t := range tasks {
 		sim.done[t] = sim.done[t] || o.Result == jobs.ResultDone
-		if o.Result == jobs.ResultFailed && !sim.failed[failed] {
-			sim.fails[t]++
+		if o.Result == jobs.ResultFailed && !sim.countedFailures[key] {
+			sim.failures[t]++
 		}
 	}
-	sim.failed[failed] = sim.failed[failed] || o.Result == jobs.ResultFailed
+	sim.countedFailures[key] = sim.countedFailures[key] || o.Result == jobs.ResultFailed
 }
 
 // deliver delivers replies to workers. A reply that arrives after more than
-// answerTimeoutMillis is dropped.
+// replyTimeoutMillis is dropped.
 func (sim *simulation) deliver() {
 	kept := sim.replies[:0]
 	for _, reply := range sim.replies {
@@ -316,7 +320,7 @@
 	w.leaseUntil = max(w.leaseUntil, reply.sentAt+reply.lease+reply.lease/50)
 	w.ends = slices.DeleteFunc(w.ends, func(e RunEnd) bool { return e.Number <= reply.orders.AckUpTo })
 	for _, s := range reply.orders.Stops {
-		w.closed[s.Task] = max(w.closed[s.Task], s.Run)
+		w.endedRuns[s.Task] = max(w.endedRuns[s.Task], s.Run)
 		if r := w.runs[s.Task]; r != nil && r.run == s.Run {
 			w.end(s.Task, r, jobs.ResultStopped)
 		}
@@ -329,7 +333,7 @@
 func (w *simWorker) end(t jobs.TaskID, r *simRun, result jobs.Result) {
 	w.lastEnd++
 	w.ends = append(w.ends, RunEnd{Number: w.lastEnd, Task: t, Run: r.run, Result: result, Checkpoint: fmt.Sprint("s", r.run, "-", t.Index)})
-	w.closed[t] = max(w.closed[t], r.run)
+	w.endedRuns[t] = max(w.endedRuns[t], r.run)
 	delete(w.runs, t)
 }
 
@@ -342,7 +346,7 @@
 		used = used.Plus(sim.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
 	need := sim.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
-	if s.Run <= w.closed[s.Task] || !need.Fits(w.capacity.Minus(used)) {
+	if s.Run <= w.endedRuns[s.Task] || !need.Fits(w.capacity.Minus(used)) {
 		w.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
 		return
 	}
@@ -376,16 +380,16 @@
 // updateGangs starts the work of gangs whose tasks are all running. A gang that
 // has lost a task, or has waited too long for the others, is stopped.
 func (sim *simulation) updateGangs() {
-	present := map[failedRun]int{}
+	present := map[runKey]int{}
 	for _, w := range sim.workers {
 		for t, r := range w.runs {
-			present[gangRun(t, r)]++
+			present[gangKey(t, r)]++
 		}
 	}
 	for _, w := range sim.workers {
 		for t, r := range w.runs {
 			step := &sim.committed.Jobs[t.Job].Steps[t.Step]
-			complete := present[gangRun(t, r)] == step.TaskCount
+			complete := present[gangKey(t, r)] == step.TaskCount
 			switch {
 			case !step.Gang:
 			case complete && !r.formed:
@@ -397,9 +401,9 @@
 	}
 }
 
-func gangRun(t jobs.TaskID, r *simRun) failedRun {
+func gangKey(t jobs.TaskID, r *simRun) runKey {
 	t.Index = 0
-	return failedRun{t, r.run}
+	return runKey{t, r.run}
 }
 
 // checkStart checks the invariants of a task start.
@@ -408,8 +412,8 @@
 	switch {
 	case sim.done[s.Task]:
 		sim.failf("task %v starts on %s after it was recorded as done", s.Task, w.id)
-	case sim.fails[s.Task] >= simMaxAttempts:
-		sim.failf("task %v starts after %d failed runs", s.Task, sim.fails[s.Task])
+	case sim.failures[s.Task] >= simMaxAttempts:
+		sim.failf("task %v starts after %d failed runs", s.Task, sim.failures[s.Task])
 	case !rec.Ready(s.Task.Occurrence, s.Task.Step):
 		sim.failf("task %v starts before the steps that it depends on are done", s.Task)
 	case rec.Due(s.Task.Occurrence) > sim.now:
@@ -454,11 +458,11 @@
 
 // endGang completes all tasks of a gang.
 func (sim *simulation) endGang(task jobs.TaskID, r *simRun) {
-	key := gangRun(task, r)
+	key := gangKey(task, r)
 	for _, w := range sim.workers {
-		for t, y := range w.runs {
-			if gangRun(t, y) == key {
-				w.end(t, y, jobs.ResultDone)
+		for t, other := range w.runs {
+			if gangKey(t, other) == key {
+				w.end(t, other, jobs.ResultDone)
 			}
 		}
 	}
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -82,9 +82,9 @@
 	for from := clock.Millis(0); from < loadMillis; from += 100 * loadStepMillis {
 		for to := from + clock.Second; to < loadMillis+10*clock.Second; to += 100 * loadStepMillis {
 			var inside []clock.Millis
-			for _, a := range all {
-				if a.arrivesAt >= from && a.deadline() <= to {
-					inside = append(inside, a.work())
+			for _, j := range all {
+				if j.arrivesAt >= from && j.deadline() <= to {
+					inside = append(inside, j.work())
 				}
 			}
 			slices.Sort(inside)
@@ -150,9 +150,9 @@
 		}
 	}
 	n := 0
-	for _, a := range all {
-		r := s.State.Jobs[a.job.ID]
-		if r != nil && r.Status == jobs.StatusCompleted && r.EndedAt <= start+a.deadline() {
+	for _, j := range all {
+		r := s.State.Jobs[j.job.ID]
+		if r != nil && r.Status == jobs.StatusCompleted && r.EndedAt <= start+j.deadline() {
 			n++
 		}
 	}
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/jobs"
 )
 
-// maxHarmMillis is how long best-effort tasks may keep a tail latency above its
-// target.
-const maxHarmMillis = 4 * clock.Second
+// maxOverTargetMillis is how long best-effort tasks may keep a tail latency
+// above its target.
+const maxOverTargetMillis = 4 * clock.Second
 
 // latencyTarget is the target of the serving task's tail latency in the tests.
 const latencyTarget clock.Millis = 100
@@ -41,11 +41,11 @@
 	f, running := newThrottleFixture(t)
 	startedAt := f.now
 	speed, workMillis, overMillis := 100, clock.Millis(0), clock.Millis(0)
-	const high, end = 10 * clock.Second, 40 * clock.Second
+	const phaseMillis, totalMillis = 10 * clock.Second, 40 * clock.Second
 	replies := 0
-	for f.now < startedAt+end {
+	for f.now < startedAt+totalMillis {
 		base, share := 30, 30
-		if at := f.now - startedAt; at >= high && at < 2*high {
+		if at := f.now - startedAt; at >= phaseMillis && at < 2*phaseMillis {
 			base, share = 70, 150
 		}
 		tail := base + share*speed/100
@@ -71,7 +71,7 @@
 		if overMillis += f.now - before; clock.Millis(tail) <= latencyTarget {
 			overMillis = 0
 		}
-		assert.Assert(t, overMillis < maxHarmMillis, "the tail latency exceeds its target for %d ms", overMillis)
+		assert.Assert(t, overMillis < maxOverTargetMillis, "the tail latency exceeds its target for %d ms", overMillis)
 	}
 	// The best-effort task can run at full speed while the load is low and at a
 	// fifth of it while the load is high; returning to full speed takes five
