core/state/sched: name a job record rec everywhere

Half of the package called a *jobs.Record r, which is also the name of a *run; a reader had to look up which one it was. r is now always a run.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -193,13 +193,13 @@
 }
 
 // forgetAdvice drops the verdicts on the steps of a job that has ended.
-func (s *Scheduler[P, H]) forgetAdvice(r *jobs.Record) {
+func (s *Scheduler[P, H]) forgetAdvice(rec *jobs.Record) {
 	if len(s.advice.steps) == 0 {
 		return
 	}
-	for occurrence := range r.Occurrences {
-		for step := range r.Steps {
-			delete(s.advice.steps, stepKey{r.ID, occurrence, step})
+	for occurrence := range rec.Occurrences {
+		for step := range rec.Steps {
+			delete(s.advice.steps, stepKey{rec.ID, occurrence, step})
 		}
 	}
 }
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -92,39 +92,39 @@
 	Deadline clock.Millis
 }
 
-func summarize(r *jobs.Record) JobSummary {
-	return JobSummary{ID: r.ID, Queue: r.Queue, Status: r.Status, AcceptedAt: r.AcceptedAt, Deadline: Deadline(r, len(r.Occurrences)-1)}
+func summarize(rec *jobs.Record) JobSummary {
+	return JobSummary{ID: rec.ID, Queue: rec.Queue, Status: rec.Status, AcceptedAt: rec.AcceptedAt, Deadline: Deadline(rec, len(rec.Occurrences)-1)}
 }
 
 // List returns summaries of up to limit jobs that have not ended, the oldest
 // first, and the total number of such jobs.
 func (s *Scheduler[P, H]) List(limit int) (summaries []JobSummary, total int) {
 	var unfinished []*jobs.Record
-	for _, r := range s.State.Jobs {
-		if !r.Status.Final() {
-			unfinished = append(unfinished, r)
+	for _, rec := range s.State.Jobs {
+		if !rec.Status.Final() {
+			unfinished = append(unfinished, rec)
 		}
 	}
 	slices.SortFunc(unfinished, func(x, y *jobs.Record) int { return cmp.Compare(x.Seq, y.Seq) })
-	for _, r := range unfinished[:min(len(unfinished), limit)] {
-		summaries = append(summaries, summarize(r))
+	for _, rec := range unfinished[:min(len(unfinished), limit)] {
+		summaries = append(summaries, summarize(rec))
 	}
 	return summaries, len(unfinished)
 }
 
 // Explain returns a report on a job; false if the job is unknown.
 func (s *Scheduler[P, H]) Explain(id jobs.ID, now clock.Millis) (JobReport, bool) {
-	r := s.State.Jobs[id]
-	if r == nil {
+	rec := s.State.Jobs[id]
+	if rec == nil {
 		return JobReport{}, false
 	}
-	report := JobReport{JobSummary: summarize(r), Pool: s.poolOf(r), Now: now, EndedAt: r.EndedAt}
-	for occurrence := range r.Occurrences {
-		for step := range r.Steps {
-			report.Steps = append(report.Steps, s.explainStep(r, occurrence, step, now))
+	report := JobReport{JobSummary: summarize(rec), Pool: s.poolOf(rec), Now: now, EndedAt: rec.EndedAt}
+	for occurrence := range rec.Occurrences {
+		for step := range rec.Steps {
+			report.Steps = append(report.Steps, s.explainStep(rec, occurrence, step, now))
 		}
 	}
-	for t, state := range r.Tasks() {
+	for t, state := range rec.Tasks() {
 		if w, run := s.assignedRun(t, state); run != nil {
 			report.Runs = append(report.Runs, RunReport{
 				Task: t, Run: run.number, Worker: w.id, Percent: run.percent, StartedAt: run.assignedAt, StopReason: run.stopReason,
@@ -134,9 +134,9 @@
 	return report, true
 }
 
-func (s *Scheduler[P, H]) explainStep(r *jobs.Record, occurrence, step int, now clock.Millis) StepReport {
-	state := &r.Occurrences[occurrence].Steps[step]
-	report := StepReport{Occurrence: occurrence, Step: step, Tasks: len(state.Tasks), Done: state.DoneTasks, Failures: r.Failures(occurrence, step)}
+func (s *Scheduler[P, H]) explainStep(rec *jobs.Record, occurrence, step int, now clock.Millis) StepReport {
+	state := &rec.Occurrences[occurrence].Steps[step]
+	report := StepReport{Occurrence: occurrence, Step: step, Tasks: len(state.Tasks), Done: state.DoneTasks, Failures: rec.Failures(occurrence, step)}
 	for _, t := range state.Tasks {
 		report.Runs += t.Run
 		switch t.Phase {
@@ -147,13 +147,13 @@
 		}
 	}
 	switch {
-	case report.Waiting == 0 || r.Status.Final():
-	case r.Due(occurrence) > now:
+	case report.Waiting == 0 || rec.Status.Final():
+	case rec.Due(occurrence) > now:
 		report.WaitReason = WaitNotDue
-	case !r.Ready(occurrence, step):
+	case !rec.Ready(occurrence, step):
 		report.WaitReason = WaitDependencies
 	default:
-		report.WaitReason = s.waitReason(r, occurrence, step, now)
+		report.WaitReason = s.waitReason(rec, occurrence, step, now)
 	}
 	return report
 }
@@ -161,9 +161,9 @@
 // waitReason filters the live workers of the pool by each requirement of the
 // task in turn, and returns the reason of the first one that no remaining
 // worker meets.
-func (s *Scheduler[P, H]) waitReason(r *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
-	p := s.pool(s.poolOf(r))
-	g := &taskGroup{key: stepKey{r.ID, occurrence, step}, rec: r, step: &r.Steps[step]}
+func (s *Scheduler[P, H]) waitReason(rec *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
+	p := s.pool(s.poolOf(rec))
+	g := &taskGroup{key: stepKey{rec.ID, occurrence, step}, rec: rec, step: &rec.Steps[step]}
 	reserved := reservation(g.step)
 	remaining := slices.Collect(s.liveWorkers(p, now))
 	for _, check := range []struct {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -154,11 +154,11 @@
 // stopGang stops the other tasks of a gang after a task has ended before the
 // gang's work was done. They cannot work without it, and all of them start
 // again together.
-func (s *Scheduler[P, H]) stopGang(r *jobs.Record, t jobs.TaskID) {
-	if !r.Steps[t.Step].Gang {
+func (s *Scheduler[P, H]) stopGang(rec *jobs.Record, t jobs.TaskID) {
+	if !rec.Steps[t.Step].Gang {
 		return
 	}
-	state := &r.Occurrences[t.Occurrence].Steps[t.Step]
+	state := &rec.Occurrences[t.Occurrence].Steps[t.Step]
 	for n := range state.Tasks {
 		id := stepKeyOf(t).taskID(n)
 		if w, other := s.assignedRun(id, &state.Tasks[n]); other != nil {
@@ -169,10 +169,10 @@
 
 // stopBrokenGangs stops the remaining tasks of gangs that lost a task in an
 // earlier term.
-func (s *Scheduler[P, H]) stopBrokenGangs(r *jobs.Record) {
-	for id, state := range r.Tasks() {
+func (s *Scheduler[P, H]) stopBrokenGangs(rec *jobs.Record) {
+	for id, state := range rec.Tasks() {
 		if state.Phase == jobs.PhaseWaiting && state.Run > 0 {
-			s.stopGang(r, id)
+			s.stopGang(rec, id)
 		}
 	}
 }
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -157,17 +157,17 @@
 
 // queueDependents queues the steps that become ready when all tasks of the step
 // of t are done.
-func (s *Scheduler[P, H]) queueDependents(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
-	state := &r.Occurrences[t.Occurrence].Steps[t.Step]
+func (s *Scheduler[P, H]) queueDependents(rec *jobs.Record, t jobs.TaskID, now clock.Millis) {
+	state := &rec.Occurrences[t.Occurrence].Steps[t.Step]
 	if state.DoneTasks < len(state.Tasks) {
 		return
 	}
-	for i := range r.Steps {
-		if !slices.Contains(r.Steps[i].DependsOn, t.Step) || !r.Ready(t.Occurrence, i) {
+	for i := range rec.Steps {
+		if !slices.Contains(rec.Steps[i].DependsOn, t.Step) || !rec.Ready(t.Occurrence, i) {
 			continue
 		}
-		for n := r.Steps[i].TaskCount - 1; n >= 0; n-- {
-			s.queueTask(r, jobs.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: i, Index: n}, now)
+		for n := rec.Steps[i].TaskCount - 1; n >= 0; n-- {
+			s.queueTask(rec, jobs.TaskID{Job: t.Job, Occurrence: t.Occurrence, Step: i, Index: n}, now)
 		}
 	}
 }
@@ -209,8 +209,8 @@
 // capacity until it has ended.
 func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
 	extra := unassignedRun{run: status.Run}
-	if r := s.State.Jobs[status.Task.Job]; r != nil && status.Task.Step >= 0 && status.Task.Step < len(r.Steps) {
-		extra.resources = reservation(&r.Steps[status.Task.Step])
+	if rec := s.State.Jobs[status.Task.Job]; rec != nil && status.Task.Step >= 0 && status.Task.Step < len(rec.Steps) {
+		extra.resources = reservation(&rec.Steps[status.Task.Step])
 	}
 	if w.unassigned == nil {
 		w.unassigned = map[jobs.TaskID]unassignedRun{}
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -66,8 +66,8 @@
 }
 
 // noteJob adds a note on a job to the plan.
-func (s *Scheduler[P, H]) noteJob(decision Decision, r *jobs.Record, reason string, important bool) {
-	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Task: jobs.TaskID{Job: r.ID}, Reason: reason, Important: important})
+func (s *Scheduler[P, H]) noteJob(decision Decision, rec *jobs.Record, reason string, important bool) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Task: jobs.TaskID{Job: rec.ID}, Reason: reason, Important: important})
 }
 
 // noteFleet adds a note on machines or pools to the plan.
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -22,7 +22,7 @@
 
 // RankPolicy decides which waiting work is placed first.
 type RankPolicy interface {
-	Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank
+	Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank
 }
 
 // The classes of waiting work, in the order in which they are placed.
@@ -34,9 +34,9 @@
 
 // Deadline returns the latest time at which an occurrence of a job counts as on
 // time.
-func Deadline(r *jobs.Record, occurrence int) clock.Millis {
-	from := max(r.AcceptedAt, r.Due(occurrence))
-	return from + r.Target + r.CriticalPath()*clock.Millis(r.StretchPermille)/1000
+func Deadline(rec *jobs.Record, occurrence int) clock.Millis {
+	from := max(rec.AcceptedAt, rec.Due(occurrence))
+	return from + rec.Target + rec.CriticalPath()*clock.Millis(rec.StretchPermille)/1000
 }
 
 // EarliestDeadline places work in the order of deadlines, and work that will
@@ -48,12 +48,12 @@
 
 // Rank ranks long-running work first, by priority, then work that can meet its
 // deadline and last late work, both by deadline.
-func (EarliestDeadline) Rank(r *jobs.Record, occurrence int, now clock.Millis) Rank {
-	rank := Rank{Class: classOnTime, Key: Deadline(r, occurrence), Seq: r.Seq}
+func (EarliestDeadline) Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank {
+	rank := Rank{Class: classOnTime, Key: Deadline(rec, occurrence), Seq: rec.Seq}
 	switch {
-	case hasLongRunningStep(&r.Job):
-		rank.Class, rank.Key = classLongRunning, clock.Millis(r.Priority)
-	case rank.Key < now+remainingPath(r, occurrence):
+	case hasLongRunningStep(&rec.Job):
+		rank.Class, rank.Key = classLongRunning, clock.Millis(rec.Priority)
+	case rank.Key < now+remainingPath(rec, occurrence):
 		rank.Class = classLate
 	}
 	return rank
@@ -61,18 +61,18 @@
 
 // remainingPath returns the length of the longest chain of dependent steps that
 // are not done, by their estimates.
-func remainingPath(r *jobs.Record, occurrence int) clock.Millis {
+func remainingPath(rec *jobs.Record, occurrence int) clock.Millis {
 	var longest clock.Millis
 	var buf [16]clock.Millis
 	ends := buf[:0]
-	o := &r.Occurrences[occurrence]
-	for i := range r.Steps {
+	o := &rec.Occurrences[occurrence]
+	for i := range rec.Steps {
 		var end clock.Millis
-		for _, dependency := range r.Steps[i].DependsOn {
+		for _, dependency := range rec.Steps[i].DependsOn {
 			end = max(end, ends[dependency])
 		}
 		if o.Steps[i].DoneTasks < len(o.Steps[i].Tasks) {
-			end += r.Steps[i].Estimate
+			end += rec.Steps[i].Estimate
 		}
 		ends = append(ends, end)
 		longest = max(longest, end)
@@ -85,7 +85,7 @@
 type FIFO struct{}
 
 // Rank ranks work by the order of acceptance.
-func (FIFO) Rank(r *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: r.Seq} }
+func (FIFO) Rank(rec *jobs.Record, _ int, _ clock.Millis) Rank { return Rank{Seq: rec.Seq} }
 
 func hasLongRunningStep(j *jobs.Job) bool {
 	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.LongRunning })
@@ -179,52 +179,52 @@
 
 // queueJob queues the tasks of a job that may start now, and schedules the
 // occurrences that are not due.
-func (s *Scheduler[P, H]) queueJob(r *jobs.Record, now clock.Millis) {
-	if r.Status.Final() {
+func (s *Scheduler[P, H]) queueJob(rec *jobs.Record, now clock.Millis) {
+	if rec.Status.Final() {
 		return
 	}
-	for occurrence := range r.Occurrences {
-		if due := r.Due(occurrence); due > now {
-			s.scheduled.Push(scheduledOccurrence{dueAt: due, job: r.ID, occurrence: occurrence})
+	for occurrence := range rec.Occurrences {
+		if due := rec.Due(occurrence); due > now {
+			s.scheduled.Push(scheduledOccurrence{dueAt: due, job: rec.ID, occurrence: occurrence})
 			continue
 		}
-		s.queueOccurrence(r, occurrence, now)
+		s.queueOccurrence(rec, occurrence, now)
 	}
 }
 
 // queueOccurrence queues the waiting tasks of an occurrence whose dependencies
 // are done.
-func (s *Scheduler[P, H]) queueOccurrence(r *jobs.Record, occurrence int, now clock.Millis) {
-	p := s.pool(s.poolOf(r))
-	for step := range r.Steps {
-		p.newWork += finiteWork(&r.Steps[step], r.Steps[step].TaskCount, r.Steps[step].Estimate)
+func (s *Scheduler[P, H]) queueOccurrence(rec *jobs.Record, occurrence int, now clock.Millis) {
+	p := s.pool(s.poolOf(rec))
+	for step := range rec.Steps {
+		p.newWork += finiteWork(&rec.Steps[step], rec.Steps[step].TaskCount, rec.Steps[step].Estimate)
 	}
-	for step := range r.Steps {
-		if !r.Ready(occurrence, step) {
+	for step := range rec.Steps {
+		if !rec.Ready(occurrence, step) {
 			continue
 		}
-		tasks := r.Occurrences[occurrence].Steps[step].Tasks
+		tasks := rec.Occurrences[occurrence].Steps[step].Tasks
 		for index := len(tasks) - 1; index >= 0; index-- {
 			if tasks[index].Phase == jobs.PhaseWaiting {
-				s.queueTask(r, jobs.TaskID{Job: r.ID, Occurrence: occurrence, Step: step, Index: index}, now)
+				s.queueTask(rec, jobs.TaskID{Job: rec.ID, Occurrence: occurrence, Step: step, Index: index}, now)
 			}
 		}
 	}
 }
 
 // queueTask adds a waiting task to its pool.
-func (s *Scheduler[P, H]) queueTask(r *jobs.Record, t jobs.TaskID, now clock.Millis) {
-	if r.Status.Final() {
+func (s *Scheduler[P, H]) queueTask(rec *jobs.Record, t jobs.TaskID, now clock.Millis) {
+	if rec.Status.Final() {
 		return
 	}
-	p := s.pool(s.poolOf(r))
+	p := s.pool(s.poolOf(rec))
 	key := stepKeyOf(t)
 	g := p.groupByStep[key]
 	if g != nil && len(g.waiting) == 0 {
 		g.waitingSince = now
 	}
 	if g == nil {
-		g = &taskGroup{key: key, rec: r, step: &r.Steps[t.Step], rank: s.rankPolicy.Rank(r, t.Occurrence, now), waitingSince: now}
+		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[t.Step], rank: s.rankPolicy.Rank(rec, t.Occurrence, now), waitingSince: now}
 		p.groupByStep[key] = g
 		p.groups = append(p.groups, g)
 		p.sorted = false
@@ -290,8 +290,8 @@
 func (s *Scheduler[P, H]) queueDueOccurrences(now clock.Millis) {
 	for s.scheduled.Len() > 0 && s.scheduled.Top().dueAt <= now {
 		next := s.scheduled.Pop()
-		if r := s.State.Jobs[next.job]; r != nil && !r.Status.Final() {
-			s.queueOccurrence(r, next.occurrence, now)
+		if rec := s.State.Jobs[next.job]; rec != nil && !rec.Status.Final() {
+			s.queueOccurrence(rec, next.occurrence, now)
 		}
 	}
 }
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -134,8 +134,8 @@
 // first load.
 func (s *Scheduler[P, H]) hadFiniteWork() bool {
 	if !s.fleet.hadFiniteWork {
-		for _, r := range s.State.Jobs {
-			s.fleet.hadFiniteWork = s.fleet.hadFiniteWork || !hasLongRunningStep(&r.Job)
+		for _, rec := range s.State.Jobs {
+			s.fleet.hadFiniteWork = s.fleet.hadFiniteWork || !hasLongRunningStep(&rec.Job)
 		}
 	}
 	return s.fleet.hadFiniteWork
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -180,8 +180,8 @@
 		advice: newAdviceState(),
 	}
 	s.readConfig()
-	for _, r := range state.Jobs {
-		s.restoreJob(r, now)
+	for _, rec := range state.Jobs {
+		s.restoreJob(rec, now)
 	}
 	for number := range state.Waves {
 		s.waves[number] = newWave(state.Waves[number])
@@ -190,24 +190,24 @@
 }
 
 // restoreJob adds a job that was accepted before this term.
-func (s *Scheduler[P, H]) restoreJob(r *jobs.Record, now clock.Millis) {
-	for id, state := range r.Tasks() {
+func (s *Scheduler[P, H]) restoreJob(rec *jobs.Record, now clock.Millis) {
+	for id, state := range rec.Tasks() {
 		if state.Phase != jobs.PhaseAssigned {
 			continue
 		}
 		w := s.workers[state.Worker]
 		if w == nil || w.incarnation < state.Incarnation {
 			w = &worker{
-				id: state.Worker, incarnation: state.Incarnation, pool: r.Pool, runs: map[jobs.TaskID]*run{},
+				id: state.Worker, incarnation: state.Incarnation, pool: rec.Pool, runs: map[jobs.TaskID]*run{},
 				leaseUntil: now + s.maxLease(), speed: unknownSpeed(),
 			}
 			s.workers[state.Worker] = w
 			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 		}
-		s.addRun(w, &run{task: id, number: state.Run, rec: r, step: &r.Steps[id.Step], assignedAt: now, progressedAt: now})
+		s.addRun(w, &run{task: id, number: state.Run, rec: rec, step: &rec.Steps[id.Step], assignedAt: now, progressedAt: now})
 	}
-	s.stopBrokenGangs(r)
-	s.queueJob(r, now)
+	s.stopBrokenGangs(rec)
+	s.queueJob(rec, now)
 }
 
 // maxLease returns the longest duration of a lease on the leader's clock, if
@@ -265,11 +265,11 @@
 
 // poolOf returns the pool that runs a job: the pool of its queue or, if the
 // queue was removed, the pool at submission.
-func (s *Scheduler[P, H]) poolOf(r *jobs.Record) jobs.PoolName {
-	if p, ok := s.poolByQueue[r.Queue]; ok {
+func (s *Scheduler[P, H]) poolOf(rec *jobs.Record) jobs.PoolName {
+	if p, ok := s.poolByQueue[rec.Queue]; ok {
 		return p
 	}
-	return r.Pool
+	return rec.Pool
 }
 
 // Submit accepts a job. It has no effect if the job ID is known.
@@ -308,23 +308,23 @@
 // Cancel cancels a job that has not ended. It returns false if the job is
 // unknown.
 func (s *Scheduler[P, H]) Cancel(id jobs.ID, now clock.Millis) bool {
-	r := s.State.Jobs[id]
-	if r == nil {
+	rec := s.State.Jobs[id]
+	if rec == nil {
 		return false
 	}
-	if !r.Status.Final() {
+	if !rec.Status.Final() {
 		s.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
-		s.noteJobEnd(r, now)
-		s.stopJobRuns(r)
+		s.noteJobEnd(rec, now)
+		s.stopJobRuns(rec)
 	}
 	return true
 }
 
 // stopJobRuns stops all runs of a job that has ended.
-func (s *Scheduler[P, H]) stopJobRuns(r *jobs.Record) {
-	for id, state := range r.Tasks() {
+func (s *Scheduler[P, H]) stopJobRuns(rec *jobs.Record) {
+	for id, state := range rec.Tasks() {
 		if w, assigned := s.assignedRun(id, state); assigned != nil {
-			s.stopRun(w, assigned, r.Status.String())
+			s.stopRun(w, assigned, rec.Status.String())
 		}
 	}
 }
