--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -113,7 +113,7 @@
 	AdmissionControl bool
 }
 
-// Config is the configuration in force.
+// Config is the configuration of all queues and pools.
 type Config struct {
 	// Version increases with each configuration; 0 means that there is none.
 	Version uint64
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -43,7 +43,7 @@
 		s.loseRuns(w, "the worker's lease ended", now)
 		delete(s.pool(w.pool).available, w.id)
 		w.heartbeat = nil
-		// The next heartbeat adds the lease again.
+		// The next heartbeat adds the worker to leaseEnds again.
 		w.leaseExpired = true
 	}
 }
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -52,8 +52,8 @@
 	// leaseEnds orders the workers by the end of their lease. An entry whose
 	// lease was renewed since is pushed again when the old end is reached.
 	leaseEnds heap.Heap[leaseEnd]
-	// dirtyPools holds the pools that the next pass has to look at because of a
-	// newly available worker or new waiting work.
+	// dirtyPools holds the pools with newly available workers or new waiting
+	// work; the next pass places tasks only in these.
 	dirtyPools map[*pool]bool
 	// nextMaintenance is when the waves are advanced next.
 	nextMaintenance clock.Millis
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -128,6 +128,7 @@
 	return out
 }
 
+// smallStep is a step with one task that takes a sixteenth of a worker.
 var smallStep = jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500}
 
 // TestLostStartIsRepeated guards against a task that waits forever because the
@@ -196,6 +197,8 @@
 	assert.DeepEqual(t, started, []jobs.ID{"good"})
 }
 
+// endsFor returns the ends of the runs that a worker was ordered to start, all
+// with the same result.
 func endsFor(o Orders, result jobs.Result) []RunEnd {
 	var out []RunEnd
 	for n, s := range o.Starts {
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -10,7 +10,10 @@
 	"camphorridge/core/state/place"
 )
 
-// Parameters of the simulated fleet.
+// Parameters of the simulated fleet. A worker waits for a reply for
+// replyTimeoutMillis, and a task of a gang for the others for
+// gangTimeoutMillis. A leader sends replies for maxConfirmAgeMillis after it last
+// knew that it leads.
 const (
 	stepMillis          clock.Millis = 20
 	replyTimeoutMillis               = clock.Second
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -15,7 +15,9 @@
 )
 
 // The simulated load for comparing rank policies: for some seconds it is twice
-// what the pool can process, and low before and after.
+// what the pool can process, and low before and after. Jobs arrive for
+// loadMillis; loadDrainMillis is the time after that in which the rest of them
+// can end. The simulation proceeds in steps of loadStepMillis.
 const (
 	loadWorkers                          = 9
 	loadMilliCoresPerWorker              = 16_000
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -40,17 +40,19 @@
 func TestBestEffortIsThrottled(t *testing.T) {
 	f, running := newThrottleFixture(t)
 	startedAt := f.now
-	speed, workMillis, overMillis := 100, clock.Millis(0), clock.Millis(0)
+	speedPercent, workMillis, overMillis := 100, clock.Millis(0), clock.Millis(0)
 	const phaseMillis, totalMillis = 10 * clock.Second, 40 * clock.Second
 	replies := 0
 	for f.now < startedAt+totalMillis {
-		base, share := 30, 30
+		// baseMillis is the tail latency without the best-effort task;
+		// addedMillis is what that task adds to it at full speed.
+		baseMillis, addedMillis := 30, 30
 		if at := f.now - startedAt; at >= phaseMillis && at < 2*phaseMillis {
-			base, share = 70, 150
+			baseMillis, addedMillis = 70, 150
 		}
-		tail := base + share*speed/100
+		tailMillis := baseMillis + addedMillis*speedPercent/100
 		for i := range running {
-			running[i].Load = tail
+			running[i].Load = tailMillis
 		}
 		f.heartbeat("w1", 1, running)
 		p := f.Pass(f.now)
@@ -61,14 +63,14 @@
 		}
 		replies++
 		if replies%3 != 0 {
-			for _, x := range p.Orders[0].Throttles {
-				assert.Equal(t, x.Task.Job, jobs.ID("fill"))
-				speed = x.Percent
+			for _, throttle := range p.Orders[0].Throttles {
+				assert.Equal(t, throttle.Task.Job, jobs.ID("fill"))
+				speedPercent = throttle.Percent
 			}
 		}
 		f.now += p.Orders[0].RetryAfter
-		workMillis += (f.now - before) * clock.Millis(speed) / 100
-		if overMillis += f.now - before; clock.Millis(tail) <= latencyTarget {
+		workMillis += (f.now - before) * clock.Millis(speedPercent) / 100
+		if overMillis += f.now - before; clock.Millis(tailMillis) <= latencyTarget {
 			overMillis = 0
 		}
 		assert.Assert(t, overMillis < maxOverTargetMillis, "the tail latency exceeds its target for %d ms", overMillis)
