place: use customer for the owner of tasks, as the other packages do

Only this package said team; the type of the field is model.Customer. The method and field called reservation, reserved and stops meant three things; they are sizeToReserve, reservedWorkers and toStop now. Two error texts say customer.

--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -11,10 +11,10 @@
 )
 
 // BenchmarkPlace reports, for each fit policy and sizer, how 900 tasks of five
-// teams with wrong declarations run on 50 workers: the time until all are done,
-// processors reserved but not used (the buffer), use beyond a worker's size,
-// disruptions and starts; means over 3 seeds. The teams declare 40, 80, 100,
-// 200 or 300 percent of what their tasks use.
+// customers with wrong declarations run on 50 workers: the time until all are
+// done, processors reserved but not used (the buffer), use beyond a worker's
+// size, disruptions and starts; means over 3 seeds. The customers declare 40,
+// 80, 100, 200 or 300 percent of what their tasks use.
 func BenchmarkPlace(b *testing.B) {
 	for _, u := range []struct {
 		name  string
@@ -68,7 +68,7 @@
 	placer := NewPlacer(fit, sizer, PeerComparison{MinScore: 6}, Defaults())
 	f.addWorkers(placer)
 	for k := range 5 {
-		placer.SetContract(teamContract(k, 50*cores/3))
+		placer.SetContract(customerContract(k, 50*cores/3))
 	}
 	startedAt := f.now
 	submittedAt := map[TaskID]clock.Millis{}
@@ -174,7 +174,7 @@
 	next, first := 0, 0
 	submit := func() {
 		t := Task{
-			ID: TaskID(fmt.Sprintf("t%08d", next)), Team: model.Customer(fmt.Sprintf("team%02d", next%89)), Class: "c",
+			ID: TaskID(fmt.Sprintf("t%08d", next)), Customer: model.Customer(fmt.Sprintf("team%02d", next%89)), Class: "c",
 			Declared: Size{MilliCores: 1000 + next%4*500, MemoryMiB: 1024}, Submitted: clock.Millis(next),
 		}
 		if err := placer.Submit(t); err != nil {
@@ -215,7 +215,7 @@
 		set.LeaseMillis, set.TrialTasks = clock.Day, 100
 		placer := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
 		f.addWorkers(placer)
-		placer.SetContract(teamContract(0, 2_500_000))
+		placer.SetContract(customerContract(0, 2_500_000))
 		var ids []TaskID
 		for n := range 5000 {
 			x := f.newTask(0, n, 1000, clock.Hour, 100)
@@ -233,7 +233,7 @@
 		placer.Cancel(ids...)
 		cancelTime = time.Since(startedAt)
 		longestPass, passes = 0, 0
-		for len(placer.stops) > 0 {
+		for len(placer.toStop) > 0 {
 			f.now += set.StopPauseMillis
 			startedAt = time.Now()
 			placer.Pass(f.now)
--- a/core/state/place/team.go
+++ b/core/state/place/customer.go
@@ -8,8 +8,9 @@
 	"camphorridge/core/state/model"
 )
 
-// team is a customer with its waiting tasks, quota use and disruption budget.
-type team struct {
+// customerState is a customer with its waiting tasks, quota use and disruption
+// budget.
+type customerState struct {
 	contract model.Contract
 	// used is the sum of what its running tasks have reserved.
 	used Size
@@ -20,7 +21,7 @@
 	// task start. limit is the reason.
 	blocked bool
 	limit   Limit
-	// disrupted counts the team's tasks that are disrupted now.
+	// disrupted counts the customer's tasks that are disrupted now.
 	disrupted       int
 	disruptionCosts []disruptionCost
 }
@@ -31,7 +32,7 @@
 	cost clock.Millis
 }
 
-// queuedTask is a waiting task in the heap of its team.
+// queuedTask is a waiting task in the heap of its customer.
 type queuedTask struct {
 	*task
 }
@@ -45,79 +46,79 @@
 }
 
 // firstWaiting returns the first waiting task, or nil if there is none.
-func (tm *team) firstWaiting() *task {
-	for tm.waiting.Len() > 0 {
-		if t := tm.waiting.Top().task; t.phase == PhaseWaiting && t.reservedOn == nil {
+func (cs *customerState) firstWaiting() *task {
+	for cs.waiting.Len() > 0 {
+		if t := cs.waiting.Top().task; t.phase == PhaseWaiting && t.reservedOn == nil {
 			return t
 		}
-		tm.pop()
+		cs.pop()
 	}
 	return nil
 }
 
 // push adds a waiting task to the queue, unless it is still in it, and lets the
-// team try to start tasks again.
-func (tm *team) push(t *task) {
-	tm.blocked = false
+// customer try to start tasks again.
+func (cs *customerState) push(t *task) {
+	cs.blocked = false
 	if !t.queued {
 		t.queued = true
-		tm.waiting.Push(queuedTask{t})
+		cs.waiting.Push(queuedTask{t})
 	}
 }
 
 // pop removes the first task from the queue.
-func (tm *team) pop() {
-	tm.waiting.Pop().queued = false
+func (cs *customerState) pop() {
+	cs.waiting.Pop().queued = false
 }
 
-// quotaShare returns the largest share of its quota that the team uses of any
-// resource.
-func (tm *team) quotaShare() float64 {
+// quotaShare returns the largest share of its quota that the customer uses of
+// any resource.
+func (cs *customerState) quotaShare() float64 {
 	of := func(used, quota int) float64 {
 		if quota == 0 {
 			return 0
 		}
 		return float64(used) / float64(quota)
 	}
-	q := tm.contract.Quota
-	return max(of(tm.used.MilliCores, q.MilliCores), of(tm.used.MemoryMiB, q.MemoryMiB), of(tm.used.Accelerators, q.Accelerators))
+	q := cs.contract.Quota
+	return max(of(cs.used.MilliCores, q.MilliCores), of(cs.used.MemoryMiB, q.MemoryMiB), of(cs.used.Accelerators, q.Accelerators))
 }
 
 // setDisrupted marks a task as disrupted or not and keeps the count.
-func (tm *team) setDisrupted(t *task, on bool) {
+func (cs *customerState) setDisrupted(t *task, on bool) {
 	if t.disrupted == on {
 		return
 	}
 	t.disrupted = on
 	if on {
-		tm.disrupted++
+		cs.disrupted++
 	} else {
-		tm.disrupted--
+		cs.disrupted--
 	}
 }
 
 // allowsDisruption reports whether the contract allows one more disruption of
 // the given cost, on top of extra disruptions with the total cost pending that
 // are already selected.
-func (tm *team) allowsDisruption(now, cost clock.Millis, extra int, pending clock.Millis) bool {
-	c := tm.contract
-	if tm.disrupted+extra+1 > c.MaxUnavailable {
+func (cs *customerState) allowsDisruption(now, cost clock.Millis, extra int, pending clock.Millis) bool {
+	c := cs.contract
+	if cs.disrupted+extra+1 > c.MaxUnavailable {
 		return false
 	}
-	return c.WindowMillis == 0 || tm.costInWindow(now)+pending+cost <= c.BudgetMillis
+	return c.WindowMillis == 0 || cs.costInWindow(now)+pending+cost <= c.BudgetMillis
 }
 
 // costInWindow returns the total cost of the disruptions in the window that
 // ends now, and drops older ones.
-func (tm *team) costInWindow(now clock.Millis) clock.Millis {
+func (cs *customerState) costInWindow(now clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
-	kept := tm.disruptionCosts[:0]
-	for _, e := range tm.disruptionCosts {
-		if e.at > now-tm.contract.WindowMillis {
+	kept := cs.disruptionCosts[:0]
+	for _, e := range cs.disruptionCosts {
+		if e.at > now-cs.contract.WindowMillis {
 			kept = append(kept, e)
 			sum += e.cost
 		}
 	}
-	tm.disruptionCosts = kept
+	cs.disruptionCosts = kept
 	return sum
 }
--- a/core/state/place/error.go
+++ b/core/state/place/error.go
@@ -10,9 +10,9 @@
 	// KindImpossible means that no worker is large enough for the task.
 	KindImpossible Kind = "impossible"
 	// KindQuota means that the task needs more than the whole quota of its
-	// team.
+	// customer.
 	KindQuota Kind = "quota"
-	// KindNoContract means that the team has no contract.
+	// KindNoContract means that the customer has no contract.
 	KindNoContract Kind = "team"
 	// KindDuplicate means that a task with the same name was submitted before.
 	KindDuplicate Kind = "known"
--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -199,9 +199,9 @@
 
 // newTask returns a task whose declared processors are the given percentage of
 // what it uses.
-func (f *fakePlatform) newTask(team, n, cores int, duration clock.Millis, declaredPercent int) Task {
+func (f *fakePlatform) newTask(customer, n, cores int, duration clock.Millis, declaredPercent int) Task {
 	t := Task{
-		ID: TaskID(fmt.Sprintf("t%d-%05d", team, n)), Team: model.Customer(fmt.Sprintf("team%d", team)),
+		ID: TaskID(fmt.Sprintf("t%d-%05d", customer, n)), Customer: model.Customer(fmt.Sprintf("team%d", customer)),
 		Class: fmt.Sprintf("class%d", cores), Submitted: f.now, CanCheckpoint: n%3 == 0, CanThrottle: n%3 == 1,
 		Declared: Size{MilliCores: cores * declaredPercent / 100, MemoryMiB: 512},
 	}
@@ -209,7 +209,7 @@
 	return t
 }
 
-func teamContract(k, cores int) model.Contract {
+func customerContract(k, cores int) model.Contract {
 	return model.Contract{
 		Customer: model.Customer(fmt.Sprintf("team%d", k)), MaxUnavailable: 2, BudgetMillis: 40 * clock.Second, WindowMillis: clock.Minute,
 		Quota: model.Quota{MilliCores: cores, MemoryMiB: 1 << 20},
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -17,15 +17,15 @@
 		p.relieveOvercommitted(p.workers[id], now)
 	}
 	if now >= p.startAfter {
-		for _, id := range sortedKeys(p.reserved) {
+		for _, id := range sortedKeys(p.reservedWorkers) {
 			p.advanceReservation(p.workers[id], now)
 		}
 		p.startWaiting(now)
 	}
 	p.restoreThrottled()
 	p.stopCancelled(now)
-	for _, id := range sortedKeys(p.teams) {
-		p.addWait(id, p.teams[id])
+	for _, id := range sortedKeys(p.customers) {
+		p.addWait(id, p.customers[id])
 	}
 	plan := p.out
 	p.out = Plan{}
@@ -39,9 +39,9 @@
 // were already ordered to checkpoint or stop need no second order.
 func (p *Placer[F, S, J]) stopCancelled(now clock.Millis) {
 	sent := 0
-	for len(p.stops) > 0 && sent < p.settings.StopsPerPass {
-		t := p.stops[0]
-		p.stops = p.stops[1:]
+	for len(p.toStop) > 0 && sent < p.settings.StopsPerPass {
+		t := p.toStop[0]
+		p.toStop = p.toStop[1:]
 		if t.phase != PhaseRunning {
 			continue
 		}
@@ -49,7 +49,7 @@
 		p.timers.Push(timer{at: now + p.settings.LeaseMillis/2, task: t.ID})
 		sent++
 	}
-	if len(p.stops) > 0 {
+	if len(p.toStop) > 0 {
 		p.timers.Push(timer{at: now + p.settings.StopPauseMillis})
 	}
 }
@@ -59,7 +59,7 @@
 func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
 	t := w.reservedFor
 	switch {
-	case !w.Draining && p.usable(w, now) && p.reservation(t.Task).Fits(w.Size.Minus(w.used)):
+	case !w.Draining && p.usable(w, now) && p.sizeToReserve(t.Task).Fits(w.Size.Minus(w.used)):
 		p.cancelReservation(w)
 		p.start(t, w, now)
 	case w.Draining || !slices.ContainsFunc(sortedKeys(w.tasks), func(id TaskID) bool { return w.tasks[id].phase == PhaseStopping }):
@@ -102,7 +102,7 @@
 	for _, t := range w.tasks {
 		if !w.proven && now-t.startedAt >= p.settings.TrialMillis {
 			w.proven = true
-			p.unblockTeams()
+			p.unblockCustomers()
 		}
 	}
 }
@@ -113,7 +113,7 @@
 	for _, id := range sortedKeys(p.toRenew) {
 		w := p.workers[id]
 		if w.leaseEnd < now+p.settings.LeaseMillis/4 {
-			p.unblockTeams()
+			p.unblockCustomers()
 		}
 		w.leaseEnd = now + p.settings.LeaseMillis
 		p.timers.Push(timer{at: w.leaseEnd + p.settings.SkewMillis, worker: id})
@@ -141,28 +141,28 @@
 
 // start assigns a task to a worker and adds the start action to the plan.
 func (p *Placer[F, S, J]) start(t *task, w *worker, now clock.Millis) {
-	tm := p.teams[t.Team]
-	tm.setDisrupted(t, false)
+	customer := p.customers[t.Customer]
+	customer.setDisrupted(t, false)
 	t.phase, t.worker, t.startedAt, t.leaseEnd, t.cpuPercent = PhaseRunning, w, now, w.leaseEnd, 100
 	t.attempt = max(t.attempt, p.term*attemptsPerTerm) + 1
 	w.tasks[t.ID] = t
 	if !w.proven {
 		p.timers.Push(timer{at: now + p.settings.TrialMillis, worker: w.ID})
 	}
-	p.resize(t, p.reservation(t.Task))
+	p.resize(t, p.sizeToReserve(t.Task))
 	p.out.Actions = append(p.out.Actions, Action{
 		Kind: ActionStart, Worker: w.ID, Task: t.ID, Attempt: t.attempt, Size: t.reserved, LeaseEnd: w.leaseEnd,
 	})
 }
 
-// startWaiting starts tasks team by team. The team with the most urgent first
-// task goes first; among equals, the one that uses the smallest share of its
-// quota.
+// startWaiting starts tasks customer by customer. The customer with the most
+// urgent first task goes first; among equals, the one that uses the smallest
+// share of its quota.
 func (p *Placer[F, S, J]) startWaiting(now clock.Millis) {
-	active := make([]*team, 0, len(p.teams))
-	for _, id := range sortedKeys(p.teams) {
-		if tm := p.teams[id]; !tm.blocked && tm.firstWaiting() != nil {
-			active = append(active, tm)
+	active := make([]*customerState, 0, len(p.customers))
+	for _, id := range sortedKeys(p.customers) {
+		if customer := p.customers[id]; !customer.blocked && customer.firstWaiting() != nil {
+			active = append(active, customer)
 		}
 	}
 	var failed []Size
@@ -173,18 +173,18 @@
 				best = k
 			}
 		}
-		tm := active[best]
-		if !p.startOne(tm, now, &failed) {
-			tm.blocked = true
+		customer := active[best]
+		if !p.startOne(customer, now, &failed) {
+			customer.blocked = true
 		}
-		if tm.blocked || tm.firstWaiting() == nil {
+		if customer.blocked || customer.firstWaiting() == nil {
 			active = slices.Delete(active, best, best+1)
 		}
 	}
 }
 
-// startsBefore reports whether team a is served before team p.
-func startsBefore(a, b *team) bool {
+// startsBefore reports whether customer a is served before customer p.
+func startsBefore(a, b *customerState) bool {
 	x, y := a.firstWaiting(), b.firstWaiting()
 	if x.Urgent != y.Urgent {
 		return x.Urgent
@@ -195,44 +195,44 @@
 	return a.quotaShare() < b.quotaShare()
 }
 
-// startOne starts the first of the team's waiting tasks that can start, within
-// the lookahead. failed collects the sizes that fit on no worker.
-func (p *Placer[F, S, J]) startOne(tm *team, now clock.Millis, failed *[]Size) bool {
+// startOne starts the first of the customer's waiting tasks that can start,
+// within the lookahead. failed collects the sizes that fit on no worker.
+func (p *Placer[F, S, J]) startOne(customer *customerState, now clock.Millis, failed *[]Size) bool {
 	var tried []*task
 	var firstLimit Limit
 	started := false
 	for range p.settings.Lookahead {
-		t := tm.firstWaiting()
+		t := customer.firstWaiting()
 		if t == nil {
 			break
 		}
-		tm.pop()
+		customer.pop()
 		tried = append(tried, t)
-		if started = p.tryStart(tm, t, now, failed); started {
+		if started = p.tryStart(customer, t, now, failed); started {
 			break
 		}
 		if len(tried) == 1 {
-			firstLimit = tm.limit
+			firstLimit = customer.limit
 		}
 	}
 	for _, t := range tried {
 		if t.phase == PhaseWaiting && t.reservedOn == nil {
-			tm.push(t)
+			customer.push(t)
 		}
 	}
-	tm.limit = firstLimit
+	customer.limit = firstLimit
 	return started
 }
 
 // tryStart starts a task, or frees capacity for it if it is urgent, and reports
-// whether it did either. Otherwise it sets the team's limit.
-func (p *Placer[F, S, J]) tryStart(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
-	need := p.reservation(t.Task)
-	if !tm.used.Plus(need).Fits(tm.contract.Quota) {
-		tm.limit = LimitQuota
+// whether it did either. Otherwise it sets the customer's limit.
+func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, failed *[]Size) bool {
+	need := p.sizeToReserve(t.Task)
+	if !customer.used.Plus(need).Fits(customer.contract.Quota) {
+		customer.limit = LimitQuota
 		return false
 	}
-	tm.limit = LimitCapacity
+	customer.limit = LimitCapacity
 	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
 		if w := p.chooseWorker(t, need, now); w != nil {
 			p.start(t, w, now)
@@ -243,7 +243,7 @@
 		}
 	}
 	if t.Urgent {
-		return p.preemptFor(tm, t, need, now)
+		return p.preemptFor(customer, t, need, now)
 	}
 	return false
 }
@@ -293,17 +293,17 @@
 	return best
 }
 
-// addWait adds the reason why the team's first waiting task does not start to
-// the plan.
-func (p *Placer[F, S, J]) addWait(id model.Customer, tm *team) {
-	t := tm.firstWaiting()
-	if t == nil || !tm.blocked {
+// addWait adds the reason why the customer's first waiting task does not start
+// to the plan.
+func (p *Placer[F, S, J]) addWait(id model.Customer, customer *customerState) {
+	t := customer.firstWaiting()
+	if t == nil || !customer.blocked {
 		return
 	}
-	w := Wait{Team: id, Task: t.ID, Limit: tm.limit, Need: p.reservation(t.Task)}
-	switch tm.limit {
+	w := Wait{Customer: id, Task: t.ID, Limit: customer.limit, Need: p.sizeToReserve(t.Task)}
+	switch customer.limit {
 	case LimitQuota:
-		w.Unblock = fmt.Sprintf("tasks of %s end; it holds %v of %v", id, tm.used, tm.contract.Quota)
+		w.Unblock = fmt.Sprintf("tasks of %s end; it holds %v of %v", id, customer.used, customer.contract.Quota)
 	case LimitBudget:
 		w.Unblock = "the disruption budgets of running tasks allow to make room, or tasks end"
 	default:
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -23,8 +23,8 @@
 
 func (a *disruptionAudit) check(t rapid.TB, tasks map[TaskID]Task, contracts map[model.Customer]model.Contract, set Settings, plan Plan, now clock.Millis) {
 	for _, action := range plan.Actions {
-		team := tasks[action.Task].Team
-		contract := contracts[team]
+		customer := tasks[action.Task].Customer
+		contract := contracts[customer]
 		cost := map[ActionKind]clock.Millis{
 			ActionCheckpoint: set.CheckpointMillis, ActionThrottle: set.ThrottleMillis, ActionStop: now - a.startedAt[action.Task],
 		}[action.Kind]
@@ -44,20 +44,20 @@
 			continue // repeated order
 		}
 		a.disrupted[action.Task] = true
-		a.costs[team] = append(a.costs[team], disruptionCost{now, cost})
+		a.costs[customer] = append(a.costs[customer], disruptionCost{now, cost})
 		count, spent := 0, clock.Millis(0)
 		for id := range a.disrupted {
-			if tasks[id].Team == team {
+			if tasks[id].Customer == customer {
 				count++
 			}
 		}
-		for _, past := range a.costs[team] {
+		for _, past := range a.costs[customer] {
 			if past.at > now-contract.WindowMillis {
 				spent += past.cost
 			}
 		}
 		if count > contract.MaxUnavailable || spent > contract.BudgetMillis {
-			t.Fatalf("%s: %d of %d disrupted, %d of %d ms spent by %v", team, count, contract.MaxUnavailable, spent, contract.BudgetMillis, action)
+			t.Fatalf("%s: %d of %d disrupted, %d of %d ms spent by %v", customer, count, contract.MaxUnavailable, spent, contract.BudgetMillis, action)
 		}
 	}
 }
@@ -74,7 +74,7 @@
 		f.addWorkers(placer)
 		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
 		for k := range 2 {
-			c := teamContract(k, rapid.IntRange(4000, 40000).Draw(t, "quota"))
+			c := customerContract(k, rapid.IntRange(4000, 40000).Draw(t, "quota"))
 			placer.SetContract(c)
 			contracts[c.Customer] = c
 		}
@@ -107,8 +107,8 @@
 			}
 			audit.check(t, tasks, contracts, placer.settings, plan, f.now)
 			for _, x := range plan.Actions {
-				if team := tasks[x.Task].Team; x.Kind == ActionStart && x.Size.MilliCores > contracts[team].Quota.MilliCores {
-					t.Fatalf("%v exceeds the quota of %s", x, team)
+				if customer := tasks[x.Task].Customer; x.Kind == ActionStart && x.Size.MilliCores > contracts[customer].Quota.MilliCores {
+					t.Fatalf("%v exceeds the quota of %s", x, customer)
 				}
 			}
 			for _, g := range plan.GivenUp {
@@ -133,14 +133,14 @@
 	})
 }
 
-// Guards against the start of a task beyond its team's quota.
+// Guards against the start of a task beyond its customer's quota.
 func TestQuotaIsNotExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
 		placer := NewPlacer(WorstFit{}, Declared{}, NoQuarantine{}, Defaults())
 		f.addWorkers(placer)
 		quota := rapid.IntRange(1000, 30000).Draw(t, "quota")
-		placer.SetContract(teamContract(0, quota))
+		placer.SetContract(customerContract(0, quota))
 		for n := range 40 {
 			_ = placer.Submit(f.newTask(0, n, 500+f.rnd.IntN(3000), 5*clock.Second, 100))
 		}
@@ -149,7 +149,7 @@
 				placer.Heartbeat(id, 0, nil)
 			}
 			plan := placer.Pass(f.now)
-			if used := placer.teams["team0"].used.MilliCores; used > quota {
+			if used := placer.customers["team0"].used.MilliCores; used > quota {
 				t.Fatalf("%d of %d in use", used, quota)
 			}
 			Execute(f, plan.Actions)
@@ -164,7 +164,7 @@
 	f := newFake(1, 3)
 	placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.addWorkers(placer)
-	placer.SetContract(teamContract(0, 20000))
+	placer.SetContract(customerContract(0, 20000))
 	for _, c := range []struct {
 		task Task
 		kind Kind
@@ -191,10 +191,10 @@
 	f := newFake(1, 1)
 	placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.addWorkers(placer)
-	c := teamContract(0, 64000)
+	c := customerContract(0, 64000)
 	c.MaxUnavailable, c.BudgetMillis = maxUnavailable, budget
 	placer.SetContract(c)
-	placer.SetContract(teamContract(1, 64000))
+	placer.SetContract(customerContract(1, 64000))
 	for n := range 4 {
 		assert.NilError(t, placer.Submit(f.newTask(0, n, 4000, clock.Hour, 100)))
 	}
@@ -248,7 +248,7 @@
 			placer := NewPlacer(BestFit{}, Declared{}, PeerComparison{MinScore: 6}, Defaults())
 			placer.TakeOver(term, f.now)
 			f.addWorkers(placer)
-			placer.SetContract(teamContract(0, 64000))
+			placer.SetContract(customerContract(0, 64000))
 			return placer
 		}
 		tasks := map[TaskID]Task{}
@@ -300,11 +300,11 @@
 	set.StopsPerPass, set.TrialTasks = 20, 100
 	placer := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
 	f.addWorkers(placer)
-	placer.SetContract(teamContract(0, 1<<20))
-	placer.SetContract(teamContract(1, 1<<20))
+	placer.SetContract(customerContract(0, 1<<20))
+	placer.SetContract(customerContract(1, 1<<20))
 	var ids []TaskID
-	for stops := range 1000 {
-		x := f.newTask(0, stops, 1000, clock.Hour, 100)
+	for n := range 1000 {
+		x := f.newTask(0, n, 1000, clock.Hour, 100)
 		ids = append(ids, x.ID)
 		assert.NilError(t, placer.Submit(x))
 	}
@@ -344,7 +344,7 @@
 	start := func(term int) (*Placer[BestFit, Declared, NoQuarantine], int) {
 		placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 		f.addWorkers(placer)
-		placer.SetContract(teamContract(0, 64000))
+		placer.SetContract(customerContract(0, 64000))
 		placer.TakeOver(term, f.now)
 		assert.NilError(t, placer.Submit(f.newTask(0, 1, 1000, clock.Second, 100)))
 		f.now = placer.startAfter
@@ -368,7 +368,7 @@
 	set.MaxQuarantinedPercent = 100
 	placer := NewPlacer(BestFit{}, Declared{}, ConsecutiveFailures{N: 1}, set)
 	f.addWorkers(placer)
-	placer.SetContract(teamContract(0, 64000))
+	placer.SetContract(customerContract(0, 64000))
 	x := f.newTask(0, 1, 1000, clock.Second, 100)
 	f.actual[x.ID].fails = true
 	assert.NilError(t, placer.Submit(x))
@@ -392,7 +392,7 @@
 	placer := NewPlacer(WorstFit{}, NewQuantile(90), policy, Defaults())
 	f.addWorkers(placer)
 	for k := range 4 {
-		placer.SetContract(teamContract(k, 1<<20))
+		placer.SetContract(customerContract(k, 1<<20))
 	}
 	f.workers["w0003"].broken = badWorker
 	for n := range 300 {
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -14,14 +14,14 @@
 // Placer holds the tasks and workers and decides which tasks start on which
 // workers. It is not safe for concurrent use.
 type Placer[F FitPolicy, S Sizer, J HealthPolicy] struct {
-	fit      F
-	sizer    S
-	health   J
-	settings Settings
-	tasks    map[TaskID]*task
-	workers  map[WorkerID]*worker
-	teams    map[model.Customer]*team
-	classes  map[Class]*ClassHistory
+	fit       F
+	sizer     S
+	health    J
+	settings  Settings
+	tasks     map[TaskID]*task
+	workers   map[WorkerID]*worker
+	customers map[model.Customer]*customerState
+	classes   map[Class]*ClassHistory
 	// largest is the most of each resource of any worker that is not draining.
 	largest Size
 	// free indexes the workers by free capacity. preemptible indexes them by
@@ -35,8 +35,9 @@
 	// overcommitted holds the workers whose tasks reserve more than the worker
 	// has.
 	overcommitted map[WorkerID]bool
-	// reserved holds the workers on which capacity is being freed for a task.
-	reserved map[WorkerID]bool
+	// reservedWorkers holds the workers on which capacity is being freed for a
+	// task.
+	reservedWorkers map[WorkerID]bool
 	// throttled holds the workers with throttled tasks.
 	throttled   map[WorkerID]bool
 	quarantined map[WorkerID]bool
@@ -47,8 +48,8 @@
 	// finished lists the tasks that ended, oldest first. Their names are kept
 	// for a while to reject duplicate submissions.
 	finished []TaskID
-	// stops lists the cancelled tasks that have not been ordered to stop yet.
-	stops []*task
+	// toStop lists the cancelled tasks that have not been ordered to stop yet.
+	toStop []*task
 	// out collects the actions and events for the Plan of the next pass.
 	out Plan
 }
@@ -61,8 +62,8 @@
 	used Size
 	// preemptible is the part of used that urgent work may preempt.
 	preemptible Size
-	// leaseEnd is the end of the lease that was last sent; the worker itself may
-	// know an earlier end, never a later one.
+	// leaseEnd is the end of the lease that was last sent; the worker itself
+	// may know an earlier end, never a later one.
 	leaseEnd clock.Millis
 	// proven is set once a task has succeeded or has run for the trial time.
 	proven        bool
@@ -90,7 +91,7 @@
 	// again.
 	disrupted bool
 	cancelled bool
-	// queued is set while the task is in the heap of its team.
+	// queued is set while the task is in the heap of its customer.
 	queued     bool
 	reservedOn *worker
 	failedOn   []WorkerID
@@ -116,9 +117,9 @@
 	settings.StopsPerPass, settings.StopPauseMillis = max(settings.StopsPerPass, 1), max(settings.StopPauseMillis, 1)
 	return &Placer[F, S, J]{
 		fit: fit, sizer: sizer, health: health, settings: settings,
-		tasks: map[TaskID]*task{}, workers: map[WorkerID]*worker{}, teams: map[model.Customer]*team{},
+		tasks: map[TaskID]*task{}, workers: map[WorkerID]*worker{}, customers: map[model.Customer]*customerState{},
 		classes: map[Class]*ClassHistory{}, free: capacityIndex{bucketByWorker: map[WorkerID]int{}}, preemptible: capacityIndex{bucketByWorker: map[WorkerID]int{}},
-		toRenew: map[WorkerID]bool{}, overcommitted: map[WorkerID]bool{}, reserved: map[WorkerID]bool{},
+		toRenew: map[WorkerID]bool{}, overcommitted: map[WorkerID]bool{}, reservedWorkers: map[WorkerID]bool{},
 		throttled: map[WorkerID]bool{}, quarantined: map[WorkerID]bool{},
 	}
 }
@@ -147,17 +148,17 @@
 		}
 	}
 	p.refreshWorker(known)
-	p.unblockTeams()
+	p.unblockCustomers()
 }
 
-// SetContract sets a team's quota and disruption budget.
+// SetContract sets a customer's quota and disruption budget.
 func (p *Placer[F, S, J]) SetContract(c model.Contract) {
-	tm := p.teams[c.Customer]
-	if tm == nil {
-		tm = &team{}
-		p.teams[c.Customer] = tm
+	customer := p.customers[c.Customer]
+	if customer == nil {
+		customer = &customerState{}
+		p.customers[c.Customer] = customer
 	}
-	tm.contract, tm.blocked = c, false
+	customer.contract, customer.blocked = c, false
 }
 
 // Run is a task that a worker reports to run.
@@ -201,35 +202,36 @@
 	if p.tasks[t.ID] != nil {
 		return fail(KindDuplicate, "a task with this name was submitted before")
 	}
-	tm := p.teams[t.Team]
-	if tm == nil {
-		return fail(KindNoContract, "team %s has no contract", t.Team)
+	customer := p.customers[t.Customer]
+	if customer == nil {
+		return fail(KindNoContract, "customer %s has no contract", t.Customer)
 	}
 	need := p.expectedSize(t)
-	if !need.Fits(tm.contract.Quota) {
-		return fail(KindQuota, "needs %v; the whole quota of team %s is %v", need, t.Team, tm.contract.Quota)
+	if !need.Fits(customer.contract.Quota) {
+		return fail(KindQuota, "needs %v; the whole quota of customer %s is %v", need, t.Customer, customer.contract.Quota)
 	}
 	if !p.fitsAnyWorker(need) {
 		return fail(KindImpossible, "needs %v; no worker is that large", need)
 	}
 	accepted := &task{Task: t, cpuPercent: 100}
 	p.tasks[t.ID] = accepted
-	tm.push(accepted)
-	tm.blocked = false
+	customer.push(accepted)
+	customer.blocked = false
 	return nil
 }
 
 // expectedSize returns what the sizer expects a task to use.
 func (p *Placer[F, S, J]) expectedSize(t Task) Size {
-	s := p.sizer.Estimate(Class{t.Team, t.Class}, t.Declared)
+	s := p.sizer.Estimate(Class{t.Customer, t.Class}, t.Declared)
 	return componentMax(s, Size{MilliCores: 1, MemoryMiB: 1})
 }
 
-// reservation returns what is reserved for an accepted task: at most its team's
-// quota and the largest worker, to which the platform confines it. A larger
-// size that is learned later must not make an accepted task impossible to run.
-func (p *Placer[F, S, J]) reservation(t Task) Size {
-	return componentMin(p.expectedSize(t), componentMin(p.teams[t.Team].contract.Quota, p.largest))
+// sizeToReserve returns what is reserved for an accepted task: at most its
+// customer's quota and the largest worker, to which the platform confines it. A
+// larger size that is learned later must not make an accepted task impossible
+// to run.
+func (p *Placer[F, S, J]) sizeToReserve(t Task) Size {
+	return componentMin(p.expectedSize(t), componentMin(p.customers[t.Customer].contract.Quota, p.largest))
 }
 
 // fitsAnyWorker reports whether some worker that is not draining is large
@@ -256,7 +258,7 @@
 			p.finish(t)
 			continue
 		}
-		p.stops = append(p.stops, t)
+		p.toStop = append(p.toStop, t)
 	}
 }
 
@@ -276,7 +278,7 @@
 	if t == nil {
 		return
 	}
-	class := Class{t.Team, t.Class}
+	class := Class{t.Customer, t.Class}
 	p.sizer.Observe(class, used)
 	if t.attempt != attempt || t.worker == nil {
 		return
@@ -287,30 +289,31 @@
 		}
 		return
 	}
-	// The reservation stops growing at the team's quota; the platform confines
-	// the task to it.
-	tm := p.teams[t.Team]
-	available := tm.contract.Quota.Minus(tm.used).Plus(t.reserved)
-	p.resize(t, componentMax(Size{}, componentMin(componentMax(used, p.reservation(t.Task)), available)))
+	// The reservation stops growing at the customer's quota; the platform
+	// confines the task to it.
+	customer := p.customers[t.Customer]
+	available := customer.contract.Quota.Minus(customer.used).Plus(t.reserved)
+	p.resize(t, componentMax(Size{}, componentMin(componentMax(used, p.sizeToReserve(t.Task)), available)))
 }
 
 // resize changes what a task on a worker has reserved.
 func (p *Placer[F, S, J]) resize(t *task, to Size) {
-	w, tm := t.worker, p.teams[t.Team]
-	w.used, tm.used = w.used.Minus(t.reserved), tm.used.Minus(t.reserved)
+	w, customer := t.worker, p.customers[t.Customer]
+	w.used, customer.used = w.used.Minus(t.reserved), customer.used.Minus(t.reserved)
 	shrinks := to.Fits(t.reserved) && to != t.reserved
 	t.reserved = to
-	w.used, tm.used = w.used.Plus(t.reserved), tm.used.Plus(t.reserved)
+	w.used, customer.used = w.used.Plus(t.reserved), customer.used.Plus(t.reserved)
 	p.refreshWorker(w)
 	if shrinks {
-		p.unblockTeams()
+		p.unblockCustomers()
 	}
 }
 
-// unblockTeams lets the next pass try the waiting tasks of all teams again.
-func (p *Placer[F, S, J]) unblockTeams() {
-	for _, tm := range p.teams {
-		tm.blocked = false
+// unblockCustomers lets the next pass try the waiting tasks of all customers
+// again.
+func (p *Placer[F, S, J]) unblockCustomers() {
+	for _, customer := range p.customers {
+		customer.blocked = false
 	}
 }
 
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -21,7 +21,7 @@
 
 // preemptFor frees capacity for an urgent task on the worker where that costs
 // least. The worker gets no other task until the capacity is free.
-func (p *Placer[F, S, J]) preemptFor(tm *team, t *task, need Size, now clock.Millis) bool {
+func (p *Placer[F, S, J]) preemptFor(customer *customerState, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
 	lowest := clock.Millis(0)
@@ -41,11 +41,11 @@
 		}
 	}
 	if best == nil {
-		tm.limit = LimitBudget
+		customer.limit = LimitBudget
 		return false
 	}
 	best.reservedFor, t.reservedOn = t, best
-	p.reserved[best.ID] = true
+	p.reservedWorkers[best.ID] = true
 	p.disrupt(victims, now, "room for urgent task "+string(t.ID))
 	p.updateIndex(best)
 	if need.Fits(best.Size.Minus(best.used)) {
@@ -85,8 +85,8 @@
 
 // selectVictims picks the tasks to disrupt until the lack is covered:
 // checkpoints first, since no work is lost, then throttling, then stops. Each
-// disruption has to be within the budget of the task's team. It reports whether
-// the lack is covered.
+// disruption has to be within the budget of the task's customer. It reports
+// whether the lack is covered.
 func (p *Placer[F, S, J]) selectVictims(w *worker, lack Size, now clock.Millis, allowed func(*task) bool) ([]victim, bool) {
 	var out []victim
 	extra := map[model.Customer]int{}
@@ -98,13 +98,13 @@
 				return out, true
 			}
 			gain, cost := p.gainAndCost(t, kind, now)
-			tm := p.teams[t.Team]
-			if taken[t] || !allowed(t) || !helps(gain, lack) || !tm.allowsDisruption(now, cost, extra[t.Team], pending[t.Team]) {
+			customer := p.customers[t.Customer]
+			if taken[t] || !allowed(t) || !helps(gain, lack) || !customer.allowsDisruption(now, cost, extra[t.Customer], pending[t.Customer]) {
 				continue
 			}
 			taken[t] = true
-			extra[t.Team]++
-			pending[t.Team] += cost
+			extra[t.Customer]++
+			pending[t.Customer] += cost
 			lack = lack.Minus(gain)
 			out = append(out, victim{task: t, kind: kind, cost: cost})
 		}
@@ -159,13 +159,13 @@
 	}
 }
 
-// disrupt applies the disruptions, charges them to their teams' budgets and
+// disrupt applies the disruptions, charges them to their customers' budgets and
 // adds the actions to the plan.
 func (p *Placer[F, S, J]) disrupt(victims []victim, now clock.Millis, reason string) {
 	for _, v := range victims {
-		tm := p.teams[v.task.Team]
-		tm.disruptionCosts = append(tm.disruptionCosts, disruptionCost{at: now, cost: v.cost})
-		tm.setDisrupted(v.task, true)
+		customer := p.customers[v.task.Customer]
+		customer.disruptionCosts = append(customer.disruptionCosts, disruptionCost{at: now, cost: v.cost})
+		customer.setDisrupted(v.task, true)
 		if v.kind != ActionThrottle {
 			p.orderEnd(v.task, v.kind, reason)
 			p.timers.Push(timer{at: now + p.settings.LeaseMillis/2, task: v.task.ID})
@@ -195,13 +195,13 @@
 		}
 		for _, tid := range sortedKeys(w.tasks) {
 			t := w.tasks[tid]
-			full := p.reservation(t.Task)
+			full := p.sizeToReserve(t.Task)
 			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).Fits(w.Size.Minus(w.used)) {
 				continue
 			}
 			t.cpuPercent = 100
 			p.resize(t, full)
-			p.teams[t.Team].setDisrupted(t, false)
+			p.customers[t.Customer].setDisrupted(t, false)
 			p.sendThrottle(t, "there is room again")
 		}
 	}
--- a/core/state/place/run_end.go
+++ b/core/state/place/run_end.go
@@ -53,12 +53,12 @@
 
 // detach removes a task from its worker and releases what it had reserved.
 func (p *Placer[F, S, J]) detach(t *task) {
-	w, tm := t.worker, p.teams[t.Team]
+	w, customer := t.worker, p.customers[t.Customer]
 	delete(w.tasks, t.ID)
-	w.used, tm.used = w.used.Minus(t.reserved), tm.used.Minus(t.reserved)
+	w.used, customer.used = w.used.Minus(t.reserved), customer.used.Minus(t.reserved)
 	t.worker, t.reserved, t.cpuPercent, t.pendingAction = nil, Size{}, 100, Action{}
 	p.refreshWorker(w)
-	p.unblockTeams()
+	p.unblockCustomers()
 }
 
 // requeue makes a task wait for its next start; a cancelled task is finished
@@ -69,13 +69,13 @@
 		return
 	}
 	t.phase = PhaseWaiting
-	p.teams[t.Team].push(t)
+	p.customers[t.Customer].push(t)
 }
 
 // finish ends a task for good and forgets the oldest finished one beyond
 // maxFinished.
 func (p *Placer[F, S, J]) finish(t *task) {
-	p.teams[t.Team].setDisrupted(t, false)
+	p.customers[t.Customer].setDisrupted(t, false)
 	t.phase = PhaseFinished
 	if t.reservedOn != nil {
 		p.cancelReservation(t.reservedOn)
@@ -107,7 +107,7 @@
 // recordRun scores a run against its worker and quarantines the worker when the
 // sum reaches the threshold.
 func (p *Placer[F, S, J]) recordRun(w *worker, t *task, failed bool, now clock.Millis) {
-	class := Class{t.Team, t.Class}
+	class := Class{t.Customer, t.Class}
 	r := p.classes[class]
 	if r == nil {
 		r = NewClassHistory()
@@ -143,17 +143,17 @@
 	delete(p.quarantined, w.ID)
 	w.failuresInRow, w.proven = 0, false
 	p.updateIndex(w)
-	p.unblockTeams()
+	p.unblockCustomers()
 }
 
 // cancelReservation stops freeing capacity for a task on a worker.
 func (p *Placer[F, S, J]) cancelReservation(w *worker) {
 	t := w.reservedFor
 	w.reservedFor, t.reservedOn = nil, nil
-	delete(p.reserved, w.ID)
+	delete(p.reservedWorkers, w.ID)
 	p.updateIndex(w)
 	if t.phase == PhaseWaiting {
-		p.teams[t.Team].push(t)
+		p.customers[t.Customer].push(t)
 	}
 }
 
@@ -163,9 +163,9 @@
 func (p *Placer[F, S, J]) expireLease(w *worker, now clock.Millis) {
 	for _, id := range sortedKeys(w.tasks) {
 		t := w.tasks[id]
-		tm := p.teams[t.Team]
-		tm.disruptionCosts = append(tm.disruptionCosts, disruptionCost{at: now, cost: now - t.startedAt})
-		tm.setDisrupted(t, true)
+		customer := p.customers[t.Customer]
+		customer.disruptionCosts = append(customer.disruptionCosts, disruptionCost{at: now, cost: now - t.startedAt})
+		customer.setDisrupted(t, true)
 		p.detach(t)
 		p.requeue(t)
 	}
@@ -177,8 +177,8 @@
 // Adopt adds a running task that its worker reported to a new leader. leaseEnd
 // is the end of the worker's lease, and started the start of the run.
 func (p *Placer[F, S, J]) Adopt(t Task, w WorkerID, attempt int, leaseEnd, started clock.Millis) {
-	on, tm := p.workers[w], p.teams[t.Team]
-	if on == nil || tm == nil || p.tasks[t.ID] != nil {
+	on, customer := p.workers[w], p.customers[t.Customer]
+	if on == nil || customer == nil || p.tasks[t.ID] != nil {
 		return
 	}
 	adopted := &task{Task: t, phase: PhaseRunning, attempt: attempt, worker: on, cpuPercent: 100, startedAt: started, leaseEnd: leaseEnd}
@@ -188,5 +188,5 @@
 		on.leaseEnd = leaseEnd
 		p.timers.Push(timer{at: leaseEnd + p.settings.SkewMillis, worker: w})
 	}
-	p.resize(adopted, p.reservation(t))
+	p.resize(adopted, p.sizeToReserve(t))
 }
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -6,11 +6,11 @@
 	"camphorridge/core/state/model"
 )
 
-// Class identifies a class of a team's tasks. Sizes and results are learned per
-// class.
+// Class identifies a class of a customer's tasks. Sizes and results are learned
+// per class.
 type Class struct {
-	Team model.Customer
-	Name string
+	Customer model.Customer
+	Name     string
 }
 
 // Sizer is the policy that determines how much to reserve for a task. Reports
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -41,8 +41,8 @@
 	// MaxFailedWorkers is the number of different workers on which a task may
 	// fail before it is given up; at least 1.
 	MaxFailedWorkers int
-	// Lookahead is the number of waiting tasks of a team that are tried when
-	// the first one cannot start; at least 1.
+	// Lookahead is the number of waiting tasks of a customer that are tried
+	// when the first one cannot start; at least 1.
 	Lookahead int
 	// StopsPerPass is the most stops that cancellations cause in one pass, so
 	// that many cancellations at once do not delay starts. The remaining stops
@@ -65,9 +65,9 @@
 
 // Task is a unit of work that runs on one worker.
 type Task struct {
-	ID   TaskID
-	Team model.Customer
-	// Class groups the similar tasks of a team. Sizes and failure rates are
+	ID       TaskID
+	Customer model.Customer
+	// Class groups the similar tasks of a customer. Sizes and failure rates are
 	// learned per class.
 	Class    string
 	Urgent   bool
@@ -151,14 +151,14 @@
 	LimitReserving Limit = "room-being-made"
 )
 
-// Wait explains why the first waiting task of a team does not start. Unblock
-// says what would let it start.
+// Wait explains why the first waiting task of a customer does not start.
+// Unblock says what would let it start.
 type Wait struct {
-	Team    model.Customer
-	Task    TaskID
-	Limit   Limit
-	Need    Size
-	Unblock string
+	Customer model.Customer
+	Task     TaskID
+	Limit    Limit
+	Need     Size
+	Unblock  string
 }
 
 // GivenUp is a task that will not be run again, and the reason.
