place: say what limits, orders and platform methods do

Several doc comments left out the result, the unit or the condition, and one named a parameter that does not exist. Reasons and waits speak of capacity and quota in place of room, weight and holding.

--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -36,6 +36,8 @@
 	do func()
 }
 
+// fakeWorker is a worker of a fakePlatform. A partitioned worker neither sends
+// nor receives messages; a broken one fails every run.
 type fakeWorker struct {
 	size        Size
 	leaseEnd    clock.Millis
--- a/core/state/place/health.go
+++ b/core/state/place/health.go
@@ -126,6 +126,6 @@
 }
 
 // quarantineReason describes why the worker is quarantined.
-func (w *worker) quarantineReason(limit float64) string {
-	return fmt.Sprintf("%d runs failed in a row that its peers run; weight %.1f of %.1f", w.failuresInRow, w.score, limit)
+func (w *worker) quarantineReason(threshold float64) string {
+	return fmt.Sprintf("%d runs in a row failed that other workers complete; score %.1f, threshold %.1f", w.failuresInRow, w.score, threshold)
 }
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -55,7 +55,8 @@
 }
 
 // advanceReservation starts the task that capacity is being freed for once it
-// fits, and cancels the reservation when no more tasks are ending.
+// fits. It cancels the reservation if the worker is drained or no task on it is
+// stopping any more.
 func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
 	t := w.reservedFor
 	switch {
@@ -88,8 +89,8 @@
 		}
 		p.endTrial(w, now)
 		if p.quarantined[w.ID] && w.quarantinedAt+p.settings.QuarantineMillis <= now {
-			// From half of the threshold on, it runs one task at a time and few
-			// failures quarantine it again.
+			// With half of the threshold, the worker runs one task at a time
+			// and few failures quarantine it again.
 			w.score = p.health.Threshold() / 2
 			p.endQuarantine(w)
 		}
@@ -122,10 +123,11 @@
 	clear(p.toRenew)
 }
 
-// usable reports whether a worker may get a task now. A worker that is not
-// proven runs only TrialTasks at once. One whose score is at least half of the
-// threshold runs a single task at a time, so that a worker that fails quickly
-// does not use up the queue.
+// usable reports whether a worker may get a task now. A worker with less than a
+// quarter of a lease left gets none. A worker that is not proven runs only
+// TrialTasks at once. One whose score is at least half of the threshold runs a
+// single task at a time, so that a worker that fails quickly does not use up
+// the queue.
 func (p *Placer[F, S, J]) usable(w *worker, now clock.Millis) bool {
 	if w.Draining || p.quarantined[w.ID] || w.leaseEnd < now+p.settings.LeaseMillis/4 {
 		return false
@@ -183,7 +185,7 @@
 	}
 }
 
-// startsBefore reports whether customer a is served before customer p.
+// startsBefore reports whether customer a is served before customer b.
 func startsBefore(a, b *customerState) bool {
 	x, y := a.firstWaiting(), b.firstWaiting()
 	if x.Urgent != y.Urgent {
@@ -195,8 +197,9 @@
 	return a.quotaShare() < b.quotaShare()
 }
 
-// startOne starts the first of the customer's waiting tasks that can start,
-// within the lookahead. failed collects the sizes that fit on no worker.
+// startOne calls tryStart for the customer's first waiting tasks, at most
+// Lookahead of them, until one succeeds, and reports whether one did. failed
+// collects the sizes that fit on no worker.
 func (p *Placer[F, S, J]) startOne(customer *customerState, now clock.Millis, failed *[]Size) bool {
 	var tried []*task
 	var firstLimit Limit
@@ -273,8 +276,10 @@
 	return nil
 }
 
-// scanWorkers examines all workers by name. It is used by the baseline policy
-// and when the index is disabled.
+// scanWorkers examines all workers in the order of their names. It returns the
+// first suitable one if step is 0, and the one that comes first in the order of
+// the fit policy otherwise. It is used by the baseline policy and when the
+// index is disabled.
 func (p *Placer[F, S, J]) scanWorkers(suitable func(WorkerID) *worker, step int) *worker {
 	var best *worker
 	for _, id := range sortedKeys(p.workers) {
@@ -303,9 +308,9 @@
 	w := Wait{Customer: id, Task: t.ID, Limit: customer.limit, Need: p.sizeToReserve(t.Task)}
 	switch customer.limit {
 	case LimitQuota:
-		w.Unblock = fmt.Sprintf("tasks of %s end; it holds %v of %v", id, customer.used, customer.contract.Quota)
+		w.Unblock = fmt.Sprintf("tasks of customer %s end; it uses %v of its quota of %v", id, customer.used, customer.contract.Quota)
 	case LimitBudget:
-		w.Unblock = "the disruption budgets of running tasks allow to make room, or tasks end"
+		w.Unblock = "disruption budgets allow running tasks to be disrupted, or tasks end"
 	default:
 		w.Unblock = "tasks end or workers are added"
 	}
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -126,8 +126,8 @@
 
 // TakeOver sets the term of a new leader. Starts that the previous leader sent
 // may still reach workers until the lease that they were sent under expires;
-// nothing is started until then. Meanwhile the tasks that workers report to run
-// have to be passed to Adopt, and the remaining ones to Submit.
+// nothing is started until then. Meanwhile the caller has to pass the tasks
+// that workers report as running to Adopt, and the remaining ones to Submit.
 func (p *Placer[F, S, J]) TakeOver(term int, now clock.Millis) {
 	p.term, p.startAfter = term, now+p.settings.LeaseMillis+p.settings.SkewMillis
 	p.timers.Push(timer{at: p.startAfter})
@@ -161,7 +161,7 @@
 	customer.contract, customer.blocked = c, false
 }
 
-// Run is a task that a worker reports to run.
+// Run identifies a run of a task that a worker reports.
 type Run struct {
 	Task    TaskID
 	Attempt int
@@ -180,8 +180,8 @@
 		return
 	}
 	p.toRenew[id] = true
-	// The worker received the renewal of this time before it sent the
-	// heartbeat.
+	// The worker had received the renewal that was sent at renewedAt when it
+	// sent the heartbeat.
 	renewedAt := leaseEnd - p.settings.LeaseMillis
 	for _, tid := range sortedKeys(w.tasks) {
 		t := w.tasks[tid]
@@ -262,8 +262,9 @@
 	}
 }
 
-// orderEnd orders a running task to checkpoint or stop. The order is repeated
-// until the end is reported or the worker's lease expires.
+// orderEnd orders a running task to checkpoint or stop. A timer of half a lease,
+// which the caller sets, repeats the order until the end is reported or the
+// worker's lease expires.
 func (p *Placer[F, S, J]) orderEnd(t *task, kind ActionKind, reason string) {
 	t.phase = PhaseStopping
 	p.refreshWorker(t.worker)
--- a/core/state/place/platform.go
+++ b/core/state/place/platform.go
@@ -8,9 +8,13 @@
 	// Start runs a task. A worker must refuse a start that arrives after the
 	// action's LeaseEnd, because the task may run on another worker by then.
 	Start(Action) error
+	// Renew extends the worker's lease to the action's LeaseEnd.
 	Renew(Action) error
+	// Checkpoint orders a task to save its work and end.
 	Checkpoint(Action) error
+	// Throttle limits a task to CPUPercent of its reserved processors.
 	Throttle(Action) error
+	// Stop orders a task to end; unsaved work is lost.
 	Stop(Action) error
 }
 
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -20,7 +20,9 @@
 }
 
 // preemptFor frees capacity for an urgent task on the worker where that costs
-// least. The worker gets no other task until the capacity is free.
+// least, and reports whether there is such a worker. If there is none, it sets
+// the customer's limit. The worker gets no other task until the capacity is
+// free.
 func (p *Placer[F, S, J]) preemptFor(customer *customerState, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
@@ -46,7 +48,7 @@
 	}
 	best.reservedFor, t.reservedOn = t, best
 	p.reservedWorkers[best.ID] = true
-	p.disrupt(victims, now, "room for urgent task "+string(t.ID))
+	p.disrupt(victims, now, "capacity is freed for urgent task "+string(t.ID))
 	p.updateIndex(best)
 	if need.Fits(best.Size.Minus(best.used)) {
 		// Throttling frees capacity at once.
@@ -80,7 +82,7 @@
 		return
 	}
 	victims, _ := p.selectVictims(w, lack, now, func(*task) bool { return true })
-	p.disrupt(victims, now, "worker "+string(w.ID)+" is used beyond its size")
+	p.disrupt(victims, now, "the tasks on worker "+string(w.ID)+" use more than its size")
 }
 
 // selectVictims picks the tasks to disrupt until the lack is covered:
@@ -202,7 +204,7 @@
 			t.cpuPercent = 100
 			p.resize(t, full)
 			p.customers[t.Customer].setDisrupted(t, false)
-			p.sendThrottle(t, "there is room again")
+			p.sendThrottle(t, "the worker has free capacity again")
 		}
 	}
 }
--- a/core/state/place/run_end.go
+++ b/core/state/place/run_end.go
@@ -105,7 +105,8 @@
 }
 
 // recordRun scores a run against its worker and quarantines the worker when the
-// sum reaches the threshold.
+// sum reaches the threshold, unless more than MaxQuarantinedPercent of the
+// workers would be quarantined then. One worker may always be quarantined.
 func (p *Placer[F, S, J]) recordRun(w *worker, t *task, failed bool, now clock.Millis) {
 	class := Class{t.Customer, t.Class}
 	r := p.classes[class]
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -42,8 +42,8 @@
 	seen    map[Class]*moments
 }
 
-// moments are the running averages of a class's use: processors first, memory
-// second.
+// moments are the running averages of a class's use: millicores first, MiB of
+// memory second.
 type moments struct {
 	reports         int
 	mean            [2]float64
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -69,7 +69,9 @@
 	Customer model.Customer
 	// Class groups the similar tasks of a customer. Sizes and failure rates are
 	// learned per class.
-	Class    string
+	Class string
+	// Urgent tasks start before all others and may preempt them. Among tasks
+	// of equal urgency, those with a higher Priority start first.
 	Urgent   bool
 	Priority int
 	// Declared is the size that the submitter states. It counts only until the
@@ -128,8 +130,9 @@
 	Kind   ActionKind
 	Worker WorkerID
 	Task   TaskID
-	// Attempt numbers the starts of a task from 1. The platform repeats it in
-	// its reports, so that late reports of an earlier attempt are recognised.
+	// Attempt numbers the starts of a task; later starts have higher numbers.
+	// The platform repeats it in its reports, so that late reports of an
+	// earlier attempt are recognised.
 	Attempt int
 	Size    Size
 	// CPUPercent is the share of its reserved processors that a throttled task
@@ -145,9 +148,14 @@
 
 // The limits.
 const (
-	LimitQuota     Limit = "quota"
-	LimitCapacity  Limit = "room"
-	LimitBudget    Limit = "disruption-budget"
+	// LimitQuota means that the customer would exceed its quota.
+	LimitQuota Limit = "quota"
+	// LimitCapacity means that no worker has enough free capacity.
+	LimitCapacity Limit = "room"
+	// LimitBudget means that no worker has enough free capacity for an urgent
+	// task, and disruption budgets do not allow freeing it.
+	LimitBudget Limit = "disruption-budget"
+	// LimitReserving means that capacity is being freed for the task.
 	LimitReserving Limit = "room-being-made"
 )
 
