lend: name the policy's methods after what they return

Want, Give and Keep are SlotsToRequest, SlotsToLend and KeepIdle now. Comments say which wait maxWait limits, what the incarnations and request numbers stand for, and when loans are not renewed.

--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -206,7 +206,7 @@
 	loans.pendingSlots -= m.Request.Slots
 	if ignored {
 		from.faultyUntil = now + refusedBackoff
-		// Stands for the loans that may have been granted.
+		// This entry stands for all loans that the lender may have granted.
 		l.hold(&HeldLoan{
 			Loan: Loan{ID: requestLoanID(m.Request.Number), Pool: m.Request.Pool}, Lender: m.To, ended: true,
 			forgetAt: now + l.cfg.Lease + l.cfg.MaxRequestTime,
--- a/core/state/lend/fair.go
+++ b/core/state/lend/fair.go
@@ -15,7 +15,8 @@
 type fairShare struct {
 	// slots is the number of slots that one borrower may hold; at least 1.
 	slots int
-	// held counts the slots of each borrower.
+	// held counts the slots of each borrower in the pool, including those that
+	// hold none.
 	held map[model.Process]int
 	// contended says that another borrower got nothing recently.
 	contended bool
@@ -34,6 +35,7 @@
 		case now-since > starvedLeases*l.cfg.Lease:
 			delete(l.starved, starved)
 		case starved.pool == req.Pool && starved.borrower != req.Borrower:
+			// The borrower gets a share even if it holds no slot.
 			share.held[starved.borrower] += 0
 			share.contended = true
 		}
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -29,8 +29,8 @@
 
 	lentLoans map[loanKey]lentLoan
 	lentSlots map[model.InstanceID]int
-	// starved holds the time of the last request that granted nothing to a
-	// borrower without loans.
+	// starved holds for each borrower without loans the time of its last
+	// request that was granted nothing.
 	starved map[starvedKey]clock.Millis
 	// changed lists the instances whose number of lent slots changed; see
 	// TakeChanges.
@@ -75,8 +75,8 @@
 func (l *Ledger[P]) Enabled() bool { return l.cfg.Lease > 0 }
 
 // Quarantined reports whether loans of an earlier run of this process may be in
-// use. Until that is over, its lendable slots must stay unused and it must not
-// confirm any release.
+// use. While they may, the process must leave its lendable slots unused and
+// must not confirm the release of an instance.
 func (l *Ledger[P]) Quarantined(now clock.Millis) bool {
 	if len(l.unacknowledged) > 0 && now >= l.quarantineEnd {
 		clear(l.unacknowledged)
@@ -109,6 +109,8 @@
 	}
 	end := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, req.MaxRequestTime)
 	share := l.fairShare(now, req, upstreams)
+	// Loans beyond the fair share are not renewed while another borrower gets
+	// nothing.
 	for _, id := range req.Renew {
 		key := loanKey{req.Borrower, req.Incarnation, id}
 		if granted := l.lentLoans[key]; share.contended && granted.loan.Pool == req.Pool && share.held[req.Borrower] > share.slots {
@@ -131,10 +133,10 @@
 		wanted -= loan.Slots
 		out.Loans = append(out.Loans, loan)
 	}
-	if starved := (starvedKey{req.Borrower, req.Pool}); req.Slots > 0 && share.held[req.Borrower] == 0 {
-		delete(l.starved, starved)
+	if key := (starvedKey{req.Borrower, req.Pool}); req.Slots > 0 && share.held[req.Borrower] == 0 {
+		delete(l.starved, key)
 		if len(out.Loans) == 0 && len(l.starved) < maxLoans {
-			l.starved[starved] = now
+			l.starved[key] = now
 		}
 	}
 	return out
@@ -161,7 +163,7 @@
 // loan's position in the response.
 func (l *Ledger[P]) lend(req LoanRequest, upstream UpstreamSlots, wanted, position int, end clock.Millis) (Loan, bool) {
 	upstream.Lent = l.lentSlots[upstream.Instance]
-	slots := min(l.policy.Give(upstream), upstream.Lendable-upstream.Lent, upstream.Slots-upstream.Running-upstream.Lent, wanted)
+	slots := min(l.policy.SlotsToLend(upstream), upstream.Lendable-upstream.Lent, upstream.Slots-upstream.Running-upstream.Lent, wanted)
 	key := loanKey{req.Borrower, req.Incarnation, requestLoanID(req.Number) + ID(position)}
 	if _, exists := l.lentLoans[key]; slots <= 0 || exists {
 		return Loan{}, false
@@ -188,7 +190,7 @@
 // returned before or have expired.
 func (l *Ledger[P]) HandleReturn(r Return) {
 	for _, id := range r.IDs {
-		if id&(1<<partBits-1) != 0 {
+		if id&(1<<positionBits-1) != 0 {
 			l.endLoan(loanKey{r.Borrower, r.Incarnation, id})
 			continue
 		}
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -39,14 +39,14 @@
 		{Pressure{Waiting: 3}, 3},
 		{Pressure{Waiting: 900, TypicalRunTime: clock.Second}, maxSlotsPerRequest},
 	} {
-		assert.Equal(t, Idle{}.Want(c.p), c.want, "%+v", c.p)
+		assert.Equal(t, Idle{}.SlotsToRequest(c.p), c.want, "%+v", c.p)
 	}
 	s := UpstreamSlots{Loan: Loan{Slots: 4}, Lendable: 3, PeakRunning: 2}
-	assert.Equal(t, Idle{}.Give(s), 2)
+	assert.Equal(t, Idle{}.SlotsToLend(s), 2)
 	s.Lent = 1
-	assert.Equal(t, Idle{}.Give(s), 1)
+	assert.Equal(t, Idle{}.SlotsToLend(s), 1)
 	s.Waiting = 1
-	assert.Equal(t, Idle{}.Give(s), 0)
+	assert.Equal(t, Idle{}.SlotsToLend(s), 0)
 }
 
 // newTestLedger returns the ledger of process b; the only other process is a.
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -50,7 +50,7 @@
 // those that have expired at their lenders.
 func (l *Ledger[P]) endUnneeded(now clock.Millis) {
 	for _, h := range l.held {
-		if now >= h.UsableUntil || h.Running == 0 && !l.policy.Keep(now-h.lastUsed, l.cfg.Lease) {
+		if now >= h.UsableUntil || h.Running == 0 && !l.policy.KeepIdle(now-h.lastUsed, l.cfg.Lease) {
 			h.ended = true
 		}
 		if h.ended && h.Running == 0 && now >= h.forgetAt {
@@ -144,7 +144,7 @@
 		loans.pressureSince = now
 	}
 	demand.Duration = now - loans.pressureSince
-	wanted := l.policy.Want(demand.Pressure) - loans.pendingSlots
+	wanted := l.policy.SlotsToRequest(demand.Pressure) - loans.pendingSlots
 	if wanted <= 0 || len(l.held) >= maxLoans {
 		return buf
 	}
@@ -162,8 +162,9 @@
 	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Request: l.newRequest(demand.Pool, wanted)})
 }
 
-// chooseLender returns the process to ask: one of the own zone if possible, and
-// round-robin among equals. none reports that every lender has recently refused
+// chooseLender returns the process to ask, or nil if there is none to ask now:
+// one of the own zone if possible, and round-robin among equals. none reports
+// that every lender in a zone with instances of the pool has recently refused
 // or failed.
 func (l *Ledger[P]) chooseLender(now clock.Millis, loans *poolLoans, zones map[model.Zone]int) (best *lender, none bool) {
 	none = true
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -39,36 +39,36 @@
 
 // Policy decides how many slots to request and how many to lend.
 type Policy interface {
-	// Want returns the number of slots to request.
-	Want(p Pressure) int
-	// Give returns the number of slots to lend, at most Lendable-Lent.
-	Give(s UpstreamSlots) int
-	// Keep reports whether to keep a held loan that has been idle for the given
-	// time.
-	Keep(idle, lease clock.Millis) bool
+	// SlotsToRequest returns the number of slots to request.
+	SlotsToRequest(p Pressure) int
+	// SlotsToLend returns the number of slots to lend, at most Lendable-Lent.
+	SlotsToLend(s UpstreamSlots) int
+	// KeepIdle reports whether to keep a held loan that has been idle for the
+	// given time.
+	KeepIdle(idle, lease clock.Millis) bool
 }
 
 // NoLending is the baseline: each process uses its own share only.
 type NoLending struct{}
 
-// Want returns 0.
-func (NoLending) Want(Pressure) int { return 0 }
+// SlotsToRequest returns 0.
+func (NoLending) SlotsToRequest(Pressure) int { return 0 }
 
-// Give returns 0.
-func (NoLending) Give(UpstreamSlots) int { return 0 }
+// SlotsToLend returns 0.
+func (NoLending) SlotsToLend(UpstreamSlots) int { return 0 }
 
-// Keep returns false.
-func (NoLending) Keep(clock.Millis, clock.Millis) bool { return false }
+// KeepIdle returns false.
+func (NoLending) KeepIdle(clock.Millis, clock.Millis) bool { return false }
 
 const (
 	// minPressureTime is how long requests must have been waiting before slots
 	// are requested: own slots work off a short burst without a loan.
 	minPressureTime clock.Millis = 100
-	// maxWait limits the wait that is left to own slots, which is half a run
-	// time. With a wait of several run times, a closed loop of callers used
-	// only a fifth of the idle slots.
+	// maxWait limits how long a request may wait for an own slot before a slot
+	// is requested for it. The wait is half a run time: with several run times,
+	// a closed loop of callers used only a fifth of the idle slots.
 	maxWait clock.Millis = 100
-	// defaultRunTime replaces an unknown run time.
+	// defaultRunTime is assumed if the run time is not known.
 	defaultRunTime clock.Millis = 20
 )
 
@@ -76,9 +76,9 @@
 // were idle in the last seconds.
 type Idle struct{}
 
-// Want returns one slot for each waiting request that own slots do not start in
-// time.
-func (Idle) Want(p Pressure) int {
+// SlotsToRequest returns one slot for each waiting request that own slots will
+// not start within half a run time, at most maxWait.
+func (Idle) SlotsToRequest(p Pressure) int {
 	if p.Capacity > 0 && p.Duration < minPressureTime {
 		return 0
 	}
@@ -90,17 +90,18 @@
 	return min(max(p.Waiting-inTime, 0), maxSlotsPerRequest)
 }
 
-// Give returns the idle slots above the reserve, or 0 while own requests wait.
-func (Idle) Give(s UpstreamSlots) int {
+// SlotsToLend returns the idle slots above the reserve, or 0 while own requests
+// wait.
+func (Idle) SlotsToLend(s UpstreamSlots) int {
 	if s.Waiting > 0 {
 		return 0
 	}
 	return min(s.Lendable, s.Slots-s.PeakRunning) - s.Lent
 }
 
-// Keep returns true until the loan has been idle for one lease, so that a short
-// pause does not cost a new request.
-func (Idle) Keep(idle, lease clock.Millis) bool { return idle < lease }
+// KeepIdle returns true until the loan has been idle for one lease, so that a
+// short pause does not cost a new request.
+func (Idle) KeepIdle(idle, lease clock.Millis) bool { return idle < lease }
 
 // Split divides a process's share of an upstream into own connections, the
 // slots that may be lent, and the connections that go with each of them. Half
--- a/core/state/lend/simulation_test.go
+++ b/core/state/lend/simulation_test.go
@@ -23,15 +23,16 @@
 // not rely on the policy for the safety of loans.
 type eagerPolicy struct{ lend.Idle }
 
-func (eagerPolicy) Want(p lend.Pressure) int      { return p.Waiting }
-func (eagerPolicy) Give(s lend.UpstreamSlots) int { return s.Lendable }
+func (eagerPolicy) SlotsToRequest(p lend.Pressure) int   { return p.Waiting }
+func (eagerPolicy) SlotsToLend(s lend.UpstreamSlots) int { return s.Lendable }
 
 // requestRun is a request in flight.
 type requestRun struct {
-	held route.Reservation
-	loan *lend.HeldLoan
-	id   model.InstanceID
-	ends clock.Millis
+	// A request holds a reservation of an own slot, or a loan.
+	reservation route.Reservation
+	loan        *lend.HeldLoan
+	id          model.InstanceID
+	ends        clock.Millis
 }
 
 // proc is an entry process. Its clock differs from the simulated time by
@@ -184,7 +185,7 @@
 		p.ledger.Release(s.localTime(p), r.loan, false, false)
 		return
 	}
-	p.router.End(s.localTime(p), r.held, route.OutcomeOK)
+	p.router.End(s.localTime(p), r.reservation, route.OutcomeOK)
 }
 
 // startRequests starts requests as the dispatcher does: on own slots first.
@@ -194,7 +195,7 @@
 	for range 1 + s.rng.IntN(8) {
 		r := requestRun{ends: s.now + clock.Millis(1+s.rng.IntN(int(maxRequestTime)))}
 		if reservation, ok := p.router.Reserve(s.localTime(p), "p", ""); ok {
-			r.held, r.id = reservation, reservation.Upstream.Instance
+			r.reservation, r.id = reservation, reservation.Upstream.Instance
 		} else if loan, ok := p.ledger.Acquire(s.localTime(p), "p", ""); ok {
 			r.loan, r.id = loan, loan.Instance
 		} else {
@@ -218,8 +219,8 @@
 	p := s.randomProcess()
 	p.ledger.Expire(s.localTime(p))
 	s.syncRouter(p)
-	need := lend.PoolDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: s.rng.IntN(10)}}
-	for _, message := range p.ledger.DueMessages(s.localTime(p), []lend.PoolDemand{need}, nil) {
+	demand := lend.PoolDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: s.rng.IntN(10)}}
+	for _, message := range p.ledger.DueMessages(s.localTime(p), []lend.PoolDemand{demand}, nil) {
 		s.network = append(s.network, &pendingMessage{from: p, to: s.find(message.To), incarnation: p.incarnation, message: message, sentAt: s.localTime(p)})
 	}
 }
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -21,18 +21,20 @@
 // Position 0 stands for all loans of the request.
 type ID uint64
 
-// partBits is the number of bits for the position of a loan in its response.
-const partBits = 8
+// positionBits is the number of bits for the position of a loan in its
+// response.
+const positionBits = 8
 
 // requestLoanID returns the ID that stands for all loans of a request.
-func requestLoanID(number uint64) ID { return ID(number << partBits) }
+func requestLoanID(number uint64) ID { return ID(number << positionBits) }
 
 // Loan is the right to use slots of one upstream.
 type Loan struct {
-	ID          ID
-	Instance    model.InstanceID
-	Pool        model.Pool
-	Address     string
+	ID       ID
+	Instance model.InstanceID
+	Pool     model.Pool
+	Address  string
+	// Incarnation tells two runs of the upstream apart.
 	Incarnation uint64
 	HealthPath  string
 	// Slots is at least 1, and Connections at least Slots.
@@ -46,8 +48,9 @@
 	Borrower model.Process
 	// Incarnation tells two runs of the borrower apart.
 	Incarnation uint64
-	Number      uint64
-	Pool        model.Pool
+	// Number numbers the requests of one run of the borrower from 1.
+	Number uint64
+	Pool   model.Pool
 	// Slots is the number of slots requested; 0 requests renewals only.
 	Slots int
 	Renew []ID
@@ -127,8 +130,8 @@
 // Counts are the counters of a ledger. All but LentSlots and HeldSlots only
 // increase.
 type Counts struct {
-	// Requested is the number of loan requests sent, Refused the number of
-	// those that brought no loan.
+	// Requested is the number of requests for new loans sent, Refused the
+	// number of those that brought no loan. Renewals do not count.
 	Requested, Refused int64
 	// Granted and Received count loans. Expired counts the granted loans that
 	// were not returned in time.
