plan: name locals and types after what they hold

entry meant an entry process elsewhere and a counted instance here; the settings were called set, and racks c. Comments of the counts say when the exposure changes.

--- a/core/state/plan/assign.go
+++ b/core/state/plan/assign.go
@@ -13,15 +13,15 @@
 // moves and undoes these changes at the end.
 type draft[P Policy] struct {
 	policy    P
-	set       Settings
+	settings  Settings
 	contracts []model.Contract
 	counts    *counts
-	moved     []moved
+	applied   []appliedMove
 	out       Assignment
 }
 
-// moved is a selected move, kept to undo its effect on the counts.
-type moved struct {
+// appliedMove is a selected move, kept to undo its effect on the counts.
+type appliedMove struct {
 	inst model.Instance
 	from rackKey
 	to   Pool
@@ -40,27 +40,27 @@
 // fill moves instances to a pool until it lacks none or no source is left.
 func (d *draft[P]) fill(p Pool, reason string) {
 	for d.counts.surplus(p) < 0 {
-		c, ok := d.bestSource(p)
+		source, ok := d.bestSource(p)
 		if !ok {
 			return
 		}
-		d.move(c, p, fmt.Sprintf("%s %s: %d of %d", p, reason, d.counts.instances[p], d.counts.required[p]))
+		d.move(source, p, fmt.Sprintf("%s %s: %d of %d", p, reason, d.counts.instances[p], d.counts.required[p]))
 	}
 }
 
 // move moves the first instance of a rack to another pool.
-func (d *draft[P]) move(c rackKey, to Pool, reason string) {
-	i := d.counts.movable[c][0]
-	d.counts.removeMovable(c, i)
-	d.counts.addInstances(c.pool, i, -1)
+func (d *draft[P]) move(source rackKey, to Pool, reason string) {
+	i := d.counts.movable[source][0]
+	d.counts.removeMovable(source, i)
+	d.counts.addInstances(source.pool, i, -1)
 	d.counts.addInstances(to, i, 1)
-	d.moved = append(d.moved, moved{inst: i, from: c, to: to})
-	d.out.Moves = append(d.out.Moves, Move{Instance: i.ID, From: c.pool, To: to, Reason: reason})
+	d.applied = append(d.applied, appliedMove{inst: i, from: source, to: to})
+	d.out.Moves = append(d.out.Moves, Move{Instance: i.ID, From: source.pool, To: to, Reason: reason})
 }
 
 // undo reverts the effect of all moves on the counts.
 func (d *draft[P]) undo() {
-	for _, m := range slices.Backward(d.moved) {
+	for _, m := range slices.Backward(d.applied) {
 		d.counts.addInstances(m.to, m.inst, -1)
 		d.counts.addInstances(m.from.pool, m.inst, 1)
 		d.counts.addMovable(m.from, m.inst)
@@ -83,13 +83,13 @@
 		if !poolAllowed(p) {
 			continue
 		}
-		for _, c := range d.counts.rackOrder[p] {
-			if !rackAllowed(c) {
+		for _, rack := range d.counts.rackOrder[p] {
+			if !rackAllowed(rack) {
 				continue
 			}
-			candidate := d.counts.candidate(c, to)
+			candidate := d.counts.candidate(rack, to)
 			if !found || d.policy.Compare(candidate, bestCandidate) < 0 {
-				best, bestCandidate, found = c, candidate, true
+				best, bestCandidate, found = rack, candidate, true
 			}
 		}
 	}
@@ -119,7 +119,7 @@
 		}
 		others += max(0, c.Spare-lost)
 	}
-	if d.set.BorrowReserve {
+	if d.settings.BorrowReserve {
 		others = 0
 	}
 	return own && d.counts.instances[spare] > others
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -9,7 +9,7 @@
 	"camphorridge/core/state/model"
 )
 
-// fleets are the pool sizes and the covered failure domain of both users.
+// fleets are the pool sizes and the covered failure domain of two operators.
 var fleets = []struct {
 	name   string
 	covers model.FailureDomain
@@ -89,7 +89,7 @@
 }
 
 // BenchmarkSurge simulates ten minutes of services that peak in turn, for each
-// chooser and the weights of both users; means over 5 seeds.
+// chooser and the weights of both operators; means over 5 seeds.
 func BenchmarkSurge(b *testing.B) {
 	for _, u := range []struct {
 		name  string
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -56,15 +56,15 @@
 // after that the pool's slots work it off.
 func (s *surge) waitCost(p Pool, n int, remaining clock.Millis) float64 {
 	d, h := s.demand[p], s.holdings[p]
-	service := float64(d.ServiceMillis) / 1000
+	serviceSeconds := float64(d.ServiceMillis) / 1000
 	waiting, waitSeconds, refused := d.Waiting, 0.0, 0.0
 	phase := func(excess, seconds float64) {
 		if seconds <= 0 {
 			return
 		}
-		end := max(0, waiting+excess/service*seconds)
-		if excessWaiting := end - d.QueueLimit; d.QueueLimit > 0 && excessWaiting > 0 {
-			refused += excessWaiting
+		end := max(0, waiting+excess/serviceSeconds*seconds)
+		if overflow := end - d.QueueLimit; d.QueueLimit > 0 && overflow > 0 {
+			refused += overflow
 			end = d.QueueLimit
 		}
 		waitSeconds += (waiting + end) / 2 * seconds
@@ -83,7 +83,7 @@
 		n = 0
 	}
 	slots := float64(max(1, (h.Instances+n)*h.SlotsPerInstance))
-	waitSeconds += waiting * waiting * service / slots / 2
+	waitSeconds += waiting * waiting * serviceSeconds / slots / 2
 	return waitSeconds*s.w.WaitCost + refused*s.w.RefuseCost
 }
 
@@ -109,7 +109,7 @@
 	absenceMillis := s.absenceSeconds(remaining) * 1000
 	probability := min(1, absenceMillis/float64(s.w.PeakIntervalMillis))
 	missingSlots := float64(n * s.holdings[p].SlotsPerInstance)
-	service := float64(max(s.demand[p].ServiceMillis, 1)) / 1000
+	serviceSeconds := float64(max(s.demand[p].ServiceMillis, 1)) / 1000
 	peakSeconds := float64(s.w.PeakMillis) / 1000
-	return probability * s.w.WaitCost * missingSlots / service * peakSeconds * peakSeconds / 2
+	return probability * s.w.WaitCost * missingSlots / serviceSeconds * peakSeconds * peakSeconds / 2
 }
--- a/core/state/plan/counts.go
+++ b/core/state/plan/counts.go
@@ -36,8 +36,8 @@
 	// spares contains the spare pools.
 	spares map[Pool]bool
 	// loading is set while a whole fleet is counted. The exposure is computed
-	// once at the end, because updating it for one instance costs as much as
-	// the instance's pool is large.
+	// once at the end, because updating it for one instance can take time in
+	// proportion to the size of the instance's pool.
 	loading bool
 }
 
@@ -198,7 +198,7 @@
 		c.addToDomains(p, i, n)
 		c.instances[p] += n
 	} else if g := c.groups[name]; p == g.spare || max(0, c.surplus(p)) == max(0, c.surplus(p)+n) {
-		// Losses in the domains of other instances depend only on the surplus.
+		// The losses of the other failure domains change only with the surplus.
 		for _, k := range domainKinds {
 			g.exposure[k].add(domainName(i, k), -c.loss(g, p, k, domainName(i, k)))
 		}
--- a/core/state/plan/exchange.go
+++ b/core/state/plan/exchange.go
@@ -12,7 +12,7 @@
 // MaxExchangeMoves allows it. A single move from a surplus is tried before an
 // exchange of two instances.
 func (d *draft[P]) exchange() {
-	for used := 0; used < d.set.MaxExchangeMoves; {
+	for used := 0; used < d.settings.MaxExchangeMoves; {
 		g, kind, name := d.mostExposed()
 		if g == nil {
 			return
@@ -21,7 +21,7 @@
 		switch {
 		case d.moveIn(g, kind, name, reason):
 			used++
-		case used+2 <= d.set.MaxExchangeMoves && d.swap(g, kind, name, reason):
+		case used+2 <= d.settings.MaxExchangeMoves && d.swap(g, kind, name, reason):
 			used += 2
 		default:
 			return
@@ -30,7 +30,7 @@
 }
 
 // mostExposed returns the group and the failure domain with the highest
-// exposure; the group is nil if there is none.
+// exposure; the group is nil if no loss would leave instances missing.
 func (d *draft[P]) mostExposed() (g *group, kind model.FailureDomain, name string) {
 	worst := 0
 	for _, spare := range slices.Sorted(maps.Keys(d.counts.groups)) {
@@ -44,11 +44,11 @@
 }
 
 // inDomain reports whether the rack lies in the failure domain.
-func (c rackKey) inDomain(kind model.FailureDomain, name string) bool {
+func (r rackKey) inDomain(kind model.FailureDomain, name string) bool {
 	if kind == model.DomainZone {
-		return string(c.zone) == name
+		return string(r.zone) == name
 	}
-	return string(c.rack) == name
+	return string(r.rack) == name
 }
 
 // inGroup reports whether a pool belongs to the group, including its spare
@@ -71,19 +71,19 @@
 			}
 		}
 	}
-	c, ok := d.bestRack(to, func(p Pool) bool {
+	source, ok := d.bestRack(to, func(p Pool) bool {
 		return d.counts.surplus(p) > 0 && !d.inGroup(g, p)
-	}, func(c rackKey) bool { return !c.inDomain(kind, name) })
+	}, func(rack rackKey) bool { return !rack.inDomain(kind, name) })
 	if !ok {
 		return false
 	}
 	before := d.totalExposure()
-	d.move(c, to, reason)
+	d.move(source, to, reason)
 	if d.totalExposure() < before {
 		return true
 	}
-	m := d.moved[len(d.moved)-1]
-	d.moved, d.out.Moves = d.moved[:len(d.moved)-1], d.out.Moves[:len(d.out.Moves)-1]
+	m := d.applied[len(d.applied)-1]
+	d.applied, d.out.Moves = d.applied[:len(d.applied)-1], d.out.Moves[:len(d.out.Moves)-1]
 	d.counts.addInstances(m.to, m.inst, -1)
 	d.counts.addInstances(m.from.pool, m.inst, 1)
 	d.counts.addMovable(m.from, m.inst)
--- a/core/state/plan/harness_test.go
+++ b/core/state/plan/harness_test.go
@@ -40,8 +40,8 @@
 	return h
 }
 
-// userContracts returns a contract of five pools with a spare pool. Both users
-// of the benchmarks have such a contract.
+// userContracts returns one contract of a pool of each size with a spare pool.
+// In the benchmarks, both operators have such a contract, of five pools.
 func userContracts(covers model.FailureDomain, spare int, sizes ...int) []model.Contract {
 	c := model.Contract{Customer: "user", Covers: covers, Spare: spare, SparePool: "spare"}
 	for k, n := range sizes {
--- a/core/state/plan/index.go
+++ b/core/state/plan/index.go
@@ -7,19 +7,19 @@
 // decisions. It is not safe for concurrent use.
 type FleetIndex struct {
 	contracts []model.Contract
-	instances map[model.InstanceID]entry
+	instances map[model.InstanceID]countedInstance
 	counts    *counts
 }
 
-// entry is an instance as it was last counted.
-type entry struct {
+// countedInstance is an instance as it was last counted.
+type countedInstance struct {
 	inst model.Instance
 	lost bool
 }
 
 // NewFleetIndex returns an index without instances.
 func NewFleetIndex(contracts []model.Contract) *FleetIndex {
-	return &FleetIndex{contracts: contracts, instances: map[model.InstanceID]entry{}, counts: newCounts(contracts)}
+	return &FleetIndex{contracts: contracts, instances: map[model.InstanceID]countedInstance{}, counts: newCounts(contracts)}
 }
 
 // SetInstance sets the state of an instance. lost says that it has an unplanned
@@ -28,7 +28,7 @@
 	if old, ok := x.instances[i.ID]; ok {
 		x.counts.update(old.inst, old.lost, -1)
 	}
-	x.instances[i.ID] = entry{i, lost}
+	x.instances[i.ID] = countedInstance{i, lost}
 	x.counts.update(i, lost, 1)
 }
 
@@ -55,14 +55,14 @@
 }
 
 // Assign makes an assignment from a whole state, without an index.
-func Assign[P Policy](policy P, set Settings, in Input) Assignment {
+func Assign[P Policy](policy P, settings Settings, in Input) Assignment {
 	index := NewFleetIndex(in.Contracts)
 	index.bulkLoad(func() {
 		for _, i := range in.Instances {
 			index.SetInstance(i, in.Lost[i.ID])
 		}
 	})
-	return Decide(policy, set, index, in.Extras)
+	return Decide(policy, settings, index, in.Extras)
 }
 
 // Decide returns the moves that fill every pool, most urgent first: promised
@@ -70,8 +70,8 @@
 // Instances that are being released or maintained stay where they are. The
 // index is unchanged afterwards; the caller reports the moves through
 // SetInstance.
-func Decide[P Policy](policy P, set Settings, index *FleetIndex, extras []Extra) Assignment {
-	d := &draft[P]{policy: policy, set: set, contracts: index.contracts, counts: index.counts}
+func Decide[P Policy](policy P, settings Settings, index *FleetIndex, extras []Extra) Assignment {
+	d := &draft[P]{policy: policy, settings: settings, contracts: index.contracts, counts: index.counts}
 	for _, e := range extras {
 		index.counts.addRequired(e.Pool, e.Count)
 		index.counts.addRequired(e.From, -e.Count)
