limits: complete doc comments and say in errors what is allowed

Kinds and rules were described by fragments, seven functions and fields had no doc comment, and the parameter set of type Settings collided with the type Set. Validation errors now name the field, its value and what is allowed; the failed operation is called evaluate, as the function is.

--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -12,25 +12,26 @@
 // disruption limits make impossible to meet, for declarations and for periodic
 // maintenance. In pools shared with another customer, the limits of either
 // customer restrict maintenance, so those of the other are checked too.
-func maintenanceShortfalls(set Settings, in Input) []Shortfall {
+func maintenanceShortfalls(settings Settings, in Input) []Shortfall {
 	var out []Shortfall
 	own := poolsOf(in.Contract)
 	for _, m := range in.Declarations {
-		out = append(out, deadlineShortfalls(set, in, in.Contract, "maintenance "+m.Name, countDue(in.Fleet, m, own), m.Deadline-in.Now)...)
+		out = append(out, deadlineShortfalls(settings, in, in.Contract, "maintenance "+m.Name, countDue(in.Fleet, m, own), m.Deadline-in.Now)...)
 		for _, o := range allContracts(in)[1:] {
 			shared := poolsOf(o)
 			maps.DeleteFunc(shared, func(p model.Pool, _ bool) bool { return !own[p] })
 			name := fmt.Sprintf("maintenance %s in pools shared with %s", m.Name, o.Customer)
-			out = append(out, deadlineShortfalls(set, in, o, name, countDue(in.Fleet, m, shared), m.Deadline-in.Now)...)
+			out = append(out, deadlineShortfalls(settings, in, o, name, countDue(in.Fleet, m, shared), m.Deadline-in.Now)...)
 		}
 	}
-	if set.PeriodMillis > 0 {
+	if settings.PeriodMillis > 0 {
 		n := PromisedInstances(in.Contract) + in.Contract.Spare
-		out = append(out, deadlineShortfalls(set, in, in.Contract, "periodic maintenance", n, set.PeriodMillis)...)
+		out = append(out, deadlineShortfalls(settings, in, in.Contract, "periodic maintenance", n, settings.PeriodMillis)...)
 	}
 	return out
 }
 
+// poolsOf returns the promised pools of a contract and its spare pool.
 func poolsOf(c model.Contract) map[model.Pool]bool {
 	pools := map[model.Pool]bool{}
 	for _, p := range c.Pools {
@@ -56,20 +57,20 @@
 
 // deadlineShortfalls returns the shortfalls of contract c if n instances have to be
 // maintained in the time left. name becomes the subject of the shortfalls.
-func deadlineShortfalls(set Settings, in Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
+func deadlineShortfalls(settings Settings, in Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
-	if have := allowedByMaxUnavailable(set, in.Fleet, c, left); int64(n) > have {
+	if have := allowedByMaxUnavailable(settings, in.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
-			Text: fmt.Sprintf("%s: %d instances in %d ms; with max-unavailable %d and %d ms each, %d can be done",
-				name, n, left, c.MaxUnavailable, set.MaintenanceMillis, have),
+			Text: fmt.Sprintf("%s: %d instances in %d ms; max-unavailable %d with %d ms each allows %d",
+				name, n, left, c.MaxUnavailable, settings.MaintenanceMillis, have),
 		})
 	}
-	if have := allowedByBudget(set, c, left); int64(n) > have {
+	if have := allowedByBudget(settings, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallBudget, Subject: name, Required: int64(n), Available: have,
 			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
-				name, n, left, c.BudgetMillis, c.WindowMillis, set.MaintenanceMillis, have),
+				name, n, left, c.BudgetMillis, c.WindowMillis, settings.MaintenanceMillis, have),
 		})
 	}
 	return out
@@ -80,7 +81,7 @@
 // count against max-unavailable. Two failure domains are never disrupted at once,
 // so the number of concurrent maintenances is also limited by the size of the
 // largest domain of the covered kind.
-func allowedByMaxUnavailable(set Settings, f Fleet, c model.Contract, left clock.Millis) int64 {
+func allowedByMaxUnavailable(settings Settings, f Fleet, c model.Contract, left clock.Millis) int64 {
 	if left <= 0 {
 		return 0
 	}
@@ -89,12 +90,12 @@
 		largest = max(largest, d.n)
 	}
 	width := int64(min(c.MaxUnavailable, PromisedInstances(c)+c.Spare, largest))
-	return int64(left/max(set.MaintenanceMillis, 1)) * width
+	return int64(left/max(settings.MaintenanceMillis, 1)) * width
 }
 
 // allowedByBudget returns the number of maintenances that the window budget allows
 // in the time left: one full budget for each window that has started.
-func allowedByBudget(set Settings, c model.Contract, left clock.Millis) int64 {
+func allowedByBudget(settings Settings, c model.Contract, left clock.Millis) int64 {
 	if c.WindowMillis == 0 {
 		return Unbounded
 	}
@@ -102,5 +103,5 @@
 		return 0
 	}
 	windows := int64((left + c.WindowMillis - 1) / c.WindowMillis)
-	return windows * int64(c.BudgetMillis/max(set.MaintenanceMillis, 1))
+	return windows * int64(c.BudgetMillis/max(settings.MaintenanceMillis, 1))
 }
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -29,18 +29,19 @@
 
 // The rules of derivation.
 const (
-	// RuleRequested: the value that the contract requests.
+	// RuleRequested takes the value that the contract requests.
 	RuleRequested Rule = "as asked"
-	// RuleSlots: instances times slots per instance, summed over the promised
+	// RuleSlots sums up instances times slots per instance over the promised
 	// pools.
 	RuleSlots Rule = "promised instances x slots"
-	// RulePercent: a percentage of the concurrency, rounded down, so that
+	// RulePercent takes a percentage of the concurrency, rounded down, so that
 	// retries never exceed the promised share.
 	RulePercent Rule = "percent of concurrency"
-	// RuleNoWindow: no window is set, so time out of service is unbounded.
+	// RuleNoWindow leaves the time out of service unbounded because no window
+	// is set.
 	RuleNoWindow Rule = "no window"
-	// RuleAllInstances: the number of instances of the customer, since no more can
-	// be unavailable.
+	// RuleAllInstances takes the number of instances of the customer, including
+	// spare ones, since no more can be unavailable.
 	RuleAllInstances Rule = "at most all instances"
 )
 
@@ -149,6 +150,7 @@
 	return n
 }
 
+// requested returns the limit with the value that the contract requests.
 func requested(name Name, v int) Limit {
 	return Limit{
 		Name: name, Requested: int64(v), Value: int64(v), Rule: RuleRequested,
@@ -156,7 +158,8 @@
 	}
 }
 
-// outageBudget returns the limit on the time out of service per window.
+// outageBudget returns the limit on the time out of service per window, in
+// milliseconds.
 func outageBudget(b, window clock.Millis) Limit {
 	l := Limit{
 		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
--- a/core/state/limits/evaluate.go
+++ b/core/state/limits/evaluate.go
@@ -15,24 +15,25 @@
 
 // The kinds of shortfall.
 const (
-	// ShortfallInvalid: the contract contradicts itself.
+	// ShortfallInvalid means that the contract contradicts itself.
 	ShortfallInvalid ShortfallKind = "form"
-	// ShortfallInstances: all contracts together promise and reserve more instances
-	// than the fleet owns.
+	// ShortfallInstances means that all contracts together promise and reserve more
+	// instances than the fleet owns.
 	ShortfallInstances ShortfallKind = "instances"
-	// ShortfallSpare: the spare is smaller than the loss of the largest failure
-	// domain that the contract covers.
+	// ShortfallSpare means that the spare is smaller than the loss of the largest
+	// failure domain of the kind that the contract covers.
 	ShortfallSpare ShortfallKind = "spare"
-	// ShortfallMaxUnavailable: max-unavailable is too low to maintain all instances
-	// by a deadline.
+	// ShortfallMaxUnavailable means that max-unavailable is too low to maintain all
+	// instances by a deadline.
 	ShortfallMaxUnavailable ShortfallKind = "max-unavailable"
-	// ShortfallBudget: the window budget allows too few maintenances before a
-	// deadline.
+	// ShortfallBudget means that the window budget allows too few maintenances
+	// before a deadline.
 	ShortfallBudget ShortfallKind = "budget"
-	// ShortfallQuota: the quotas of all customers exceed the workers' resources.
+	// ShortfallQuota means that the quotas of all customers exceed the workers'
+	// resources.
 	ShortfallQuota ShortfallKind = "quota"
-	// ShortfallSlots: the requested concurrency exceeds the slots of the promised
-	// instances.
+	// ShortfallSlots means that the requested concurrency exceeds the slots of the
+	// promised instances.
 	ShortfallSlots ShortfallKind = "slots"
 )
 
@@ -40,10 +41,13 @@
 type Shortfall struct {
 	Kind ShortfallKind
 	// Subject names what falls short: a zone, a rack, a declaration, a resource.
-	Subject   string
+	Subject string
+	// Required and Available are numbers of instances, slots, maintenances or
+	// units of a resource, depending on the kind.
 	Required  int64
 	Available int64
-	Text      string
+	// Text describes the shortfall to an operator.
+	Text string
 }
 
 // Decision is the decision about a contract.
@@ -72,7 +76,7 @@
 	for _, s := range e.Shortfalls {
 		texts = append(texts, s.Text)
 	}
-	return &Error{Op: "judge contract", Kind: KindRefused, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
+	return &Error{Op: "evaluate contract", Kind: KindRefused, Err: fmt.Errorf("%s", strings.Join(texts, "; "))}
 }
 
 // Settings are the assumptions of an evaluation.
@@ -98,7 +102,7 @@
 
 // Evaluate decides whether to accept a contract. The evaluation contains all
 // shortfalls; a contract that contradicts itself is not checked further.
-func Evaluate[S RefusalPolicy, P SlotsPolicy](policy S, slots P, set Settings, in Input) Evaluation {
+func Evaluate[S RefusalPolicy, P SlotsPolicy](policy S, slots P, settings Settings, in Input) Evaluation {
 	var e Evaluation
 	if err := Validate(in.Contract); err != nil {
 		e.Shortfalls = append(e.Shortfalls, Shortfall{Kind: ShortfallInvalid, Subject: string(in.Contract.Customer), Text: err.Error()})
@@ -108,7 +112,7 @@
 		e.Shortfalls = append(e.Shortfalls, spareShortfalls(in)...)
 		e.Shortfalls = append(e.Shortfalls, slotShortfalls(slots, in)...)
 		e.Shortfalls = append(e.Shortfalls, quotaShortfalls(all, in.Fleet.WorkerResources)...)
-		e.Shortfalls = append(e.Shortfalls, maintenanceShortfalls(set, in)...)
+		e.Shortfalls = append(e.Shortfalls, maintenanceShortfalls(settings, in)...)
 	}
 	e.Decision = Accept
 	for _, s := range e.Shortfalls {
@@ -122,6 +126,8 @@
 	return e
 }
 
+// allContracts returns the contract to evaluate, followed by those of all other
+// customers.
 func allContracts(in Input) []model.Contract {
 	all := []model.Contract{in.Contract}
 	for _, c := range in.Others {
@@ -132,6 +138,8 @@
 	return all
 }
 
+// instanceShortfalls returns a shortfall if the contracts need more instances than
+// the fleet owns.
 func instanceShortfalls(all []model.Contract, f Fleet) []Shortfall {
 	promised, spare := 0, 0
 	for _, c := range all {
@@ -167,6 +175,7 @@
 	}}
 }
 
+// domainSize is the number of instances in a failure domain.
 type domainSize struct {
 	name string
 	n    int
@@ -235,10 +244,12 @@
 	}
 	return []Shortfall{{
 		Kind: ShortfallSlots, Subject: "concurrency", Required: int64(in.Contract.Concurrency), Available: have,
-		Text: fmt.Sprintf("concurrency %d asked; the promised instances hold %d slots", in.Contract.Concurrency, have),
+		Text: fmt.Sprintf("concurrency %d requested; the promised instances have %d slots", in.Contract.Concurrency, have),
 	}}
 }
 
+// quotaShortfalls returns a shortfall for each resource of which the quotas of all
+// contracts exceed what the workers have.
 func quotaShortfalls(all []model.Contract, have model.Quota) []Shortfall {
 	var need model.Quota
 	for _, c := range all {
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -51,7 +51,7 @@
 
 // Guards against a shortfall that is not reported or has the wrong numbers.
 func TestEvaluateReportsShortfalls(t *testing.T) {
-	set := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
+	settings := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
 	rebase := func(f func(*Input)) Input {
 		q := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
 		f(&q)
@@ -84,7 +84,7 @@
 		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptWithShortfall, ShortfallSlots, 400, 336},
 		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
-		v := Evaluate(RefuseImpossible{}, MinSlots{}, set, c.q)
+		v := Evaluate(RefuseImpossible{}, MinSlots{}, settings, c.q)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
 		if c.kind == "" {
 			assert.Equal(t, len(v.Shortfalls), 0, c.name)
@@ -93,7 +93,7 @@
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
 		assert.Equal(t, [2]int64{s.Required, s.Available}, [2]int64{c.need, c.have}, c.name)
-		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, set, c.q).Decision, Refuse, c.name)
+		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, settings, c.q).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
 	}
@@ -155,7 +155,7 @@
 	benchRefusalPolicy(b, "form-only", RefuseInvalid{})
 }
 
-func benchRefusalPolicy[S RefusalPolicy](b *testing.B, name string, severity S) {
+func benchRefusalPolicy[S RefusalPolicy](b *testing.B, name string, policy S) {
 	b.Run(name, func(b *testing.B) {
 		count := map[Decision]float64{}
 		broken := 0.0
@@ -166,7 +166,7 @@
 			for k := range 300 {
 				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
-				v := Evaluate(severity, MinSlots{}, Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
+				v := Evaluate(policy, MinSlots{}, Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
 				if v.Decision != Refuse && PromisedInstances(c)+c.Spare > 50 {
 					broken++
--- a/core/state/limits/validate.go
+++ b/core/state/limits/validate.go
@@ -11,13 +11,14 @@
 
 // The kinds of error.
 const (
-	// KindInvalid: the contract contradicts itself.
+	// KindInvalid means that the contract contradicts itself.
 	KindInvalid Kind = "form"
-	// KindRefused: the evaluation refused the contract.
+	// KindRefused means that the evaluation refused the contract.
 	KindRefused Kind = "short"
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package: the failed operation, the kind of
+// error and its cause.
 type Error struct {
 	Op   string
 	Kind Kind
@@ -30,9 +31,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Validate checks a contract for contradictions, such as a name that is missing or
-// used twice or a number below its minimum. It returns the first one as an *Error
-// of KindInvalid.
+// Validate checks a contract for contradictions, such as a name that is missing
+// or used twice or a number below its minimum. It returns the first one that it
+// finds as an *Error of KindInvalid.
 func Validate(c model.Contract) error {
 	fail := func(format string, args ...any) error {
 		return &Error{Op: "check contract " + string(c.Customer), Kind: KindInvalid, Err: fmt.Errorf(format, args...)}
@@ -51,30 +52,31 @@
 		case seen[p.Pool]:
 			return fail("pool %s is listed twice", p.Pool)
 		case p.Instances < 1:
-			return fail("pool %s promises %d instances; the least is 1", p.Pool, p.Instances)
+			return fail("pool %s promises %d instances, must be at least 1", p.Pool, p.Instances)
 		case p.Pool == c.SparePool:
-			return fail("pool %s is both promised and the spare", p.Pool)
+			return fail("pool %s is both a promised pool and the spare pool", p.Pool)
 		}
 		seen[p.Pool] = true
 	}
 	if c.Spare > 0 && c.SparePool == "" {
-		return fail("%d spare instances but no spare pool", c.Spare)
+		return fail("spare is %d but no spare pool is named", c.Spare)
 	}
 	if c.WindowMillis == 0 && c.BudgetMillis > 0 {
-		return fail("a budget of %d ms without a window", c.BudgetMillis)
+		return fail("budget-ms is %d, must be 0 because window-ms is 0", c.BudgetMillis)
 	}
-	for _, f := range operandsOf(c) {
+	for _, f := range nonNegativeNumbers(c) {
 		if f.Value < 0 {
-			return fail("%s is %d; the least is 0", f.Name, f.Value)
+			return fail("%s is %d, must be at least 0", f.Name, f.Value)
 		}
 	}
 	if c.Covers < model.DomainInstance || c.Covers > model.DomainZone {
-		return fail("covers names no failure domain: %d", int(c.Covers))
+		return fail("covers is %d, must be 0 (instance), 1 (rack) or 2 (zone)", int(c.Covers))
 	}
 	return nil
 }
 
-func operandsOf(c model.Contract) []Operand {
+// nonNegativeNumbers lists the numbers of a contract that must be at least 0.
+func nonNegativeNumbers(c model.Contract) []Operand {
 	return []Operand{
 		{"concurrency", int64(c.Concurrency)},
 		{"queue", int64(c.Queue)},
