--- a/core/state/place/customer.go
+++ b/core/state/place/customer.go
@@ -18,9 +18,9 @@
 	// reach the top.
 	waiting heap.Heap[queuedTask]
 	// blocked is set while nothing has changed that could let the first waiting
-	// task start. limit is the reason.
-	blocked bool
-	limit   Limit
+	// task start. waitReason is what prevents it.
+	blocked    bool
+	waitReason WaitReason
 	// disrupted counts the customer's tasks that are disrupted now.
 	disrupted       int
 	disruptionCosts []disruptionCost
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// push adds a waiting task to the queue, unless it is still in it, and lets the
-// customer try to start tasks again.
+// push adds a waiting task to the queue, unless it is still in it, and unblocks
+// the customer.
 func (cs *customerState) push(t *task) {
 	cs.blocked = false
 	if !t.queued {
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -202,7 +202,7 @@
 // collects the sizes that fit on no worker.
 func (p *Placer[F, S, J]) startOne(customer *customerState, now clock.Millis, failed *[]Size) bool {
 	var tried []*task
-	var firstLimit Limit
+	var firstReason WaitReason
 	started := false
 	for range p.settings.Lookahead {
 		t := customer.firstWaiting()
@@ -215,7 +215,7 @@
 			break
 		}
 		if len(tried) == 1 {
-			firstLimit = customer.limit
+			firstReason = customer.waitReason
 		}
 	}
 	for _, t := range tried {
@@ -223,19 +223,19 @@
 			customer.push(t)
 		}
 	}
-	customer.limit = firstLimit
+	customer.waitReason = firstReason
 	return started
 }
 
 // tryStart starts a task, or frees capacity for it if it is urgent, and reports
-// whether it did either. Otherwise it sets the customer's limit.
+// whether it did either. Otherwise it sets the customer's waitReason.
 func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, failed *[]Size) bool {
 	need := p.sizeToReserve(t.Task)
 	if !customer.used.Plus(need).Fits(customer.contract.Quota) {
-		customer.limit = LimitQuota
+		customer.waitReason = WaitQuota
 		return false
 	}
-	customer.limit = LimitCapacity
+	customer.waitReason = WaitCapacity
 	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
 		if w := p.chooseWorker(t, need, now); w != nil {
 			p.start(t, w, now)
@@ -305,11 +305,11 @@
 	if t == nil || !customer.blocked {
 		return
 	}
-	w := Wait{Customer: id, Task: t.ID, Limit: customer.limit, Need: p.sizeToReserve(t.Task)}
-	switch customer.limit {
-	case LimitQuota:
+	w := Wait{Customer: id, Task: t.ID, Reason: customer.waitReason, Need: p.sizeToReserve(t.Task)}
+	switch customer.waitReason {
+	case WaitQuota:
 		w.Unblock = fmt.Sprintf("tasks of customer %s end; it uses %v of its quota of %v", id, customer.used, customer.contract.Quota)
-	case LimitBudget:
+	case WaitBudget:
 		w.Unblock = "disruption budgets allow running tasks to be disrupted, or tasks end"
 	default:
 		w.Unblock = "tasks end or workers are added"
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -187,7 +187,7 @@
 
 // preemptionActions fills one worker and returns the actions that free capacity
 // for an urgent task.
-func preemptionActions(t *testing.T, maxUnavailable int, budget clock.Millis) (kinds []ActionKind, limit Limit) {
+func preemptionActions(t *testing.T, maxUnavailable int, budget clock.Millis) (kinds []ActionKind, reason WaitReason) {
 	f := newFake(1, 1)
 	placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
 	f.addWorkers(placer)
@@ -211,9 +211,9 @@
 		}
 	}
 	if len(plan.Waits) > 0 {
-		limit = plan.Waits[0].Limit
+		reason = plan.Waits[0].Reason
 	}
-	return kinds, limit
+	return kinds, reason
 }
 
 // Guards against an action that is used before a milder one, and against
@@ -221,9 +221,9 @@
 func TestPreemptionOrderAndBudget(t *testing.T) {
 	kinds, _ := preemptionActions(t, 4, clock.Hour)
 	assert.DeepEqual(t, kinds, []ActionKind{ActionCheckpoint, ActionCheckpoint, ActionThrottle, ActionStop})
-	kinds, limit := preemptionActions(t, 2, clock.Hour)
+	kinds, reason := preemptionActions(t, 2, clock.Hour)
 	assert.Equal(t, len(kinds), 0)
-	assert.Equal(t, limit, LimitBudget)
+	assert.Equal(t, reason, WaitBudget)
 	kinds, _ = preemptionActions(t, 4, 12*clock.Second)
 	assert.Equal(t, len(kinds), 0)
 }
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -262,9 +262,9 @@
 	}
 }
 
-// orderEnd orders a running task to checkpoint or stop. A timer of half a lease,
-// which the caller sets, repeats the order until the end is reported or the
-// worker's lease expires.
+// orderEnd orders a running task to checkpoint or stop. A timer of half a
+// lease, which the caller sets, repeats the order until the end is reported or
+// the worker's lease expires.
 func (p *Placer[F, S, J]) orderEnd(t *task, kind ActionKind, reason string) {
 	t.phase = PhaseStopping
 	p.refreshWorker(t.worker)
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -21,8 +21,8 @@
 
 // preemptFor frees capacity for an urgent task on the worker where that costs
 // least, and reports whether there is such a worker. If there is none, it sets
-// the customer's limit. The worker gets no other task until the capacity is
-// free.
+// the customer's waitReason. The worker gets no other task until the capacity
+// is free.
 func (p *Placer[F, S, J]) preemptFor(customer *customerState, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
@@ -43,7 +43,7 @@
 		}
 	}
 	if best == nil {
-		customer.limit = LimitBudget
+		customer.waitReason = WaitBudget
 		return false
 	}
 	best.reservedFor, t.reservedOn = t, best
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -143,20 +143,20 @@
 	Reason   string
 }
 
-// Limit names what prevents a waiting task from starting.
-type Limit string
+// WaitReason names what prevents a waiting task from starting.
+type WaitReason string
 
-// The limits.
+// The reasons for waiting.
 const (
-	// LimitQuota means that the customer would exceed its quota.
-	LimitQuota Limit = "quota"
-	// LimitCapacity means that no worker has enough free capacity.
-	LimitCapacity Limit = "room"
-	// LimitBudget means that no worker has enough free capacity for an urgent
+	// WaitQuota means that the customer would exceed its quota.
+	WaitQuota WaitReason = "quota"
+	// WaitCapacity means that no worker has enough free capacity.
+	WaitCapacity WaitReason = "room"
+	// WaitBudget means that no worker has enough free capacity for an urgent
 	// task, and disruption budgets do not allow freeing it.
-	LimitBudget Limit = "disruption-budget"
-	// LimitReserving means that capacity is being freed for the task.
-	LimitReserving Limit = "room-being-made"
+	WaitBudget WaitReason = "disruption-budget"
+	// WaitReserving means that capacity is being freed for the task.
+	WaitReserving WaitReason = "room-being-made"
 )
 
 // Wait explains why the first waiting task of a customer does not start.
@@ -164,7 +164,7 @@
 type Wait struct {
 	Customer model.Customer
 	Task     TaskID
-	Limit    Limit
+	Reason   WaitReason
 	Need     Size
 	Unblock  string
 }
