place, plan, limits: name locals in tests after their types

Settings were called set, inputs q, and the expected numbers need and have although the fields are Required and Available. Tests of the packages and the wording check pass; no text changed.

--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -52,39 +52,39 @@
 // Guards against a shortfall that is not reported or has the wrong numbers.
 func TestEvaluateReportsShortfalls(t *testing.T) {
 	settings := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
-	rebase := func(f func(*Input)) Input {
-		q := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
-		f(&q)
-		return q
+	inputWith := func(f func(*Input)) Input {
+		in := Input{Contract: contract(42, 8, model.DomainRack), Fleet: fleetOf(50, 8), Now: clock.Hour}
+		f(&in)
+		return in
 	}
 	for _, c := range []struct {
-		name       string
-		q          Input
-		decision   Decision
-		kind       ShortfallKind
-		need, have int64
+		name                string
+		in                  Input
+		decision            Decision
+		kind                ShortfallKind
+		required, available int64
 	}{
-		{"fits", rebase(func(*Input) {}), Accept, "", 0, 0},
-		{"zone", rebase(func(q *Input) { q.Contract.Covers = model.DomainZone }), AcceptWithShortfall, ShortfallSpare, 17, 8},
-		{"owned", rebase(func(q *Input) {
-			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
+		{"fits", inputWith(func(*Input) {}), Accept, "", 0, 0},
+		{"zone", inputWith(func(in *Input) { in.Contract.Covers = model.DomainZone }), AcceptWithShortfall, ShortfallSpare, 17, 8},
+		{"owned", inputWith(func(in *Input) {
+			in.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
 		}), Refuse, ShortfallInstances, 51, 50},
-		{"width", rebase(func(q *Input) {
-			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
+		{"width", inputWith(func(in *Input) {
+			in.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
 		}), AcceptWithShortfall, ShortfallMaxUnavailable, 50, 24},
-		{"budget", rebase(func(q *Input) {
-			q.Contract.BudgetMillis, q.Contract.WindowMillis = clock.Hour, 30*clock.Day
+		{"budget", inputWith(func(in *Input) {
+			in.Contract.BudgetMillis, in.Contract.WindowMillis = clock.Hour, 30*clock.Day
 		}), AcceptWithShortfall, ShortfallBudget, 50, 12},
-		{"shared", rebase(func(q *Input) {
-			q.Contract.Pools[0].Instances = 40
-			q.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
-			q.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
+		{"shared", inputWith(func(in *Input) {
+			in.Contract.Pools[0].Instances = 40
+			in.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
+			in.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
 		}), AcceptWithShortfall, ShortfallMaxUnavailable, 42, 0},
-		{"quota", rebase(func(q *Input) { q.Contract.Quota.MilliCores = 800001 }), AcceptWithShortfall, ShortfallQuota, 800001, 800000},
-		{"slots", rebase(func(q *Input) { q.Contract.Concurrency = 400 }), AcceptWithShortfall, ShortfallSlots, 400, 336},
-		{"form", rebase(func(q *Input) { q.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
+		{"quota", inputWith(func(in *Input) { in.Contract.Quota.MilliCores = 800001 }), AcceptWithShortfall, ShortfallQuota, 800001, 800000},
+		{"slots", inputWith(func(in *Input) { in.Contract.Concurrency = 400 }), AcceptWithShortfall, ShortfallSlots, 400, 336},
+		{"form", inputWith(func(in *Input) { in.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
-		v := Evaluate(RefuseImpossible{}, MinSlots{}, settings, c.q)
+		v := Evaluate(RefuseImpossible{}, MinSlots{}, settings, c.in)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
 		if c.kind == "" {
 			assert.Equal(t, len(v.Shortfalls), 0, c.name)
@@ -92,8 +92,8 @@
 		}
 		s := v.Shortfalls[0]
 		assert.Equal(t, s.Kind, c.kind, "%s: %v", c.name, s)
-		assert.Equal(t, [2]int64{s.Required, s.Available}, [2]int64{c.need, c.have}, c.name)
-		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, settings, c.q).Decision, Refuse, c.name)
+		assert.Equal(t, [2]int64{s.Required, s.Available}, [2]int64{c.required, c.available}, c.name)
+		assert.Equal(t, Evaluate(RefuseAny{}, MinSlots{}, settings, c.in).Decision, Refuse, c.name)
 		var e *Error
 		assert.Equal(t, errors.As(v.Err(), &e), c.decision == Refuse, c.name)
 	}
@@ -107,9 +107,9 @@
 		n := rapid.IntRange(3, 12).Draw(t, "n")
 		spare := rapid.IntRange(0, n-1).Draw(t, "spare")
 		promised := rapid.IntRange(1, n-spare).Draw(t, "promised")
-		q := Input{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
-		short := len(spareShortfalls(q)) > 0
-		sizes, total, fits := domainSizes(q.Fleet, model.DomainZone), promised+spare, false
+		in := Input{Contract: contract(promised, spare, model.DomainZone), Fleet: fleetOf(n, 0)}
+		short := len(spareShortfalls(in)) > 0
+		sizes, total, fits := domainSizes(in.Fleet, model.DomainZone), promised+spare, false
 		for a := 0; a <= sizes[0].n; a++ {
 			for b := 0; b <= sizes[1].n; b++ {
 				c := total - a - b
--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -160,9 +160,9 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	set := Defaults()
-	set.FullScan, set.LeaseMillis, set.TrialTasks = scan, 1000*clock.Day, 100
-	placer := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, set)
+	settings := Defaults()
+	settings.FullScan, settings.LeaseMillis, settings.TrialTasks = scan, 1000*clock.Day, 100
+	placer := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, settings)
 	for k := range workers {
 		id := WorkerID(fmt.Sprintf("w%04d", k))
 		placer.SetWorker(Worker{ID: id, Size: Size{MilliCores: 16000, MemoryMiB: 32768}})
@@ -211,9 +211,9 @@
 	for b.Loop() {
 		b.StopTimer()
 		f := newFake(1, 500)
-		set := Defaults()
-		set.LeaseMillis, set.TrialTasks = clock.Day, 100
-		placer := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
+		settings := Defaults()
+		settings.LeaseMillis, settings.TrialTasks = clock.Day, 100
+		placer := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, settings)
 		f.addWorkers(placer)
 		placer.SetContract(customerContract(0, 2_500_000))
 		var ids []TaskID
@@ -234,7 +234,7 @@
 		cancelTime = time.Since(startedAt)
 		longestPass, passes = 0, 0
 		for len(placer.toStop) > 0 {
-			f.now += set.StopPauseMillis
+			f.now += settings.StopPauseMillis
 			startedAt = time.Now()
 			placer.Pass(f.now)
 			longestPass = max(longestPass, time.Since(startedAt))
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -21,12 +21,12 @@
 	startedAt map[TaskID]clock.Millis
 }
 
-func (a *disruptionAudit) check(t rapid.TB, tasks map[TaskID]Task, contracts map[model.Customer]model.Contract, set Settings, plan Plan, now clock.Millis) {
+func (a *disruptionAudit) check(t rapid.TB, tasks map[TaskID]Task, contracts map[model.Customer]model.Contract, settings Settings, plan Plan, now clock.Millis) {
 	for _, action := range plan.Actions {
 		customer := tasks[action.Task].Customer
 		contract := contracts[customer]
 		cost := map[ActionKind]clock.Millis{
-			ActionCheckpoint: set.CheckpointMillis, ActionThrottle: set.ThrottleMillis, ActionStop: now - a.startedAt[action.Task],
+			ActionCheckpoint: settings.CheckpointMillis, ActionThrottle: settings.ThrottleMillis, ActionStop: now - a.startedAt[action.Task],
 		}[action.Kind]
 		switch {
 		case action.Kind == ActionRenew:
@@ -296,9 +296,9 @@
 // waiting, or that delay urgent tasks.
 func TestManyCancellationsAtOnce(t *testing.T) {
 	f := newFake(1, 40)
-	set := Defaults()
-	set.StopsPerPass, set.TrialTasks = 20, 100
-	placer := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, set)
+	settings := Defaults()
+	settings.StopsPerPass, settings.TrialTasks = 20, 100
+	placer := NewPlacer(WorstFit{}, Declared{}, PeerComparison{MinScore: 6}, settings)
 	f.addWorkers(placer)
 	placer.SetContract(customerContract(0, 1<<20))
 	placer.SetContract(customerContract(1, 1<<20))
@@ -330,7 +330,7 @@
 		Execute(f, plan.Actions)
 		advanceTime(f, placer, 500)
 	}
-	assert.Assert(t, maxStops <= 2*set.StopsPerPass, "%d stops in one pass", maxStops)
+	assert.Assert(t, maxStops <= 2*settings.StopsPerPass, "%d stops in one pass", maxStops)
 	assert.Assert(t, startStep >= 10 && startStep <= 16, "urgent task started at step %d", startStep)
 	for _, id := range ids {
 		assert.Equal(t, placer.tasks[id].phase, PhaseFinished)
@@ -364,9 +364,9 @@
 // their peers.
 func TestGivenUpTaskRestoresWorkerScores(t *testing.T) {
 	f := newFake(1, 4)
-	set := Defaults()
-	set.MaxQuarantinedPercent = 100
-	placer := NewPlacer(BestFit{}, Declared{}, ConsecutiveFailures{N: 1}, set)
+	settings := Defaults()
+	settings.MaxQuarantinedPercent = 100
+	placer := NewPlacer(BestFit{}, Declared{}, ConsecutiveFailures{N: 1}, settings)
 	f.addWorkers(placer)
 	placer.SetContract(customerContract(0, 64000))
 	x := f.newTask(0, 1, 1000, clock.Second, 100)
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -17,11 +17,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		contracts := drawContracts(t, 4)
 		h := newFleetHarness(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 24).Draw(t, "n"), 3, contracts)
-		set := Settings{BorrowReserve: true, MaxExchangeMoves: 4}
+		settings := Settings{BorrowReserve: true, MaxExchangeMoves: 4}
 		ids := h.instanceIDs()
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
-			a := Decide(Balance{}, set, h.index, nil)
-			assert.DeepEqual(t, a, Assign(Balance{}, set, h.input()))
+			a := Decide(Balance{}, settings, h.index, nil)
+			assert.DeepEqual(t, a, Assign(Balance{}, settings, h.input()))
 			if n := h.startMoves(a.Moves); n > 0 {
 				t.Fatalf("%d moves were refused: %v", n, a.Moves)
 			}
@@ -42,16 +42,16 @@
 		}
 		h.setLost(func(model.Instance) bool { return true }, false)
 		h.finishMoves()
-		h.startMoves(Decide(Spread{}, set, h.index, nil).Moves)
+		h.startMoves(Decide(Spread{}, settings, h.index, nil).Moves)
 		h.finishMoves()
-		checkStable(t, h, set)
+		checkStable(t, h, settings)
 	})
 }
 
 // checkStable checks that a fleet without losses has all the instances that it
 // can have, and needs no further moves.
-func checkStable(t *rapid.T, h *fleetHarness, set Settings) {
-	a := Decide(Spread{}, set, h.index, nil)
+func checkStable(t *rapid.T, h *fleetHarness, settings Settings) {
+	a := Decide(Spread{}, settings, h.index, nil)
 	required := 0
 	for _, n := range h.index.counts.required {
 		required += n
