lend: say who uses ReservePercent

The ledger never reads the setting, which a reader of the package had to look up in the dispatcher. Tests of the package and the wording check pass.

--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -124,6 +124,7 @@
 	// MaxRequestTime is the longest time that a request lasts.
 	MaxRequestTime clock.Millis
 	// ReservePercent is the part of the process's own slots that is never lent.
+	// The ledger does not use it; its owner passes it to the router.
 	ReservePercent int
 }
 
