--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -17,15 +17,15 @@
 		p.relieveOvercommitted(p.workers[id], now)
 	}
 	if now >= p.startAfter {
-		for _, id := range sortedKeys(p.reserved) {
+		for _, id := range sortedKeys(p.reservedWorkers) {
 			p.advanceReservation(p.workers[id], now)
 		}
 		p.startWaiting(now)
 	}
 	p.restoreThrottled()
 	p.stopCancelled(now)
-	for _, id := range sortedKeys(p.teams) {
-		p.addWait(id, p.teams[id])
+	for _, id := range sortedKeys(p.customers) {
+		p.addWait(id, p.customers[id])
 	}
 	plan := p.out
 	p.out = Plan{}
@@ -39,9 +39,9 @@
 // were already ordered to checkpoint or stop need no second order.
 func (p *Placer[F, S, J]) stopCancelled(now clock.Millis) {
 	sent := 0
-	for len(p.stops) > 0 && sent < p.settings.StopsPerPass {
-		t := p.stops[0]
-		p.stops = p.stops[1:]
+	for len(p.toStop) > 0 && sent < p.settings.StopsPerPass {
+		t := p.toStop[0]
+		p.toStop = p.toStop[1:]
 		if t.phase != PhaseRunning {
 			continue
 		}
@@ -49,17 +49,18 @@
 		p.timers.Push(timer{at: now + p.settings.LeaseMillis/2, task: t.ID})
 		sent++
 	}
-	if len(p.stops) > 0 {
+	if len(p.toStop) > 0 {
 		p.timers.Push(timer{at: now + p.settings.StopPauseMillis})
 	}
 }
 
 // advanceReservation starts the task that capacity is being freed for once it
-// fits, and cancels the reservation when no more tasks are ending.
+// fits. It cancels the reservation if the worker is drained or no task on it is
+// stopping any more.
 func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
 	t := w.reservedFor
 	switch {
-	case !w.Draining && p.usable(w, now) && p.reservation(t.Task).Fits(w.Size.Minus(w.used)):
+	case !w.Draining && p.usable(w, now) && p.sizeToReserve(t.Task).Fits(w.Size.Minus(w.used)):
 		p.cancelReservation(w)
 		p.start(t, w, now)
 	case w.Draining || !slices.ContainsFunc(sortedKeys(w.tasks), func(id TaskID) bool { return w.tasks[id].phase == PhaseStopping }):
@@ -88,8 +89,8 @@
 		}
 		p.endTrial(w, now)
 		if p.quarantined[w.ID] && w.quarantinedAt+p.settings.QuarantineMillis <= now {
-			// From half of the threshold on, it runs one task at a time and few
-			// failures quarantine it again.
+			// With half of the threshold, the worker runs one task at a time
+			// and few failures quarantine it again.
 			w.score = p.health.Threshold() / 2
 			p.endQuarantine(w)
 		}
@@ -102,7 +103,7 @@
 	for _, t := range w.tasks {
 		if !w.proven && now-t.startedAt >= p.settings.TrialMillis {
 			w.proven = true
-			p.unblockTeams()
+			p.unblockCustomers()
 		}
 	}
 }
@@ -113,7 +114,7 @@
 	for _, id := range sortedKeys(p.toRenew) {
 		w := p.workers[id]
 		if w.leaseEnd < now+p.settings.LeaseMillis/4 {
-			p.unblockTeams()
+			p.unblockCustomers()
 		}
 		w.leaseEnd = now + p.settings.LeaseMillis
 		p.timers.Push(timer{at: w.leaseEnd + p.settings.SkewMillis, worker: id})
@@ -122,10 +123,11 @@
 	clear(p.toRenew)
 }
 
-// usable reports whether a worker may get a task now. A worker that is not
-// proven runs only TrialTasks at once. One whose score is at least half of the
-// threshold runs a single task at a time, so that a worker that fails quickly
-// does not use up the queue.
+// usable reports whether a worker may get a task now. A worker with less than a
+// quarter of a lease left gets none. A worker that is not proven runs only
+// TrialTasks at once. One whose score is at least half of the threshold runs a
+// single task at a time, so that a worker that fails quickly does not use up
+// the queue.
 func (p *Placer[F, S, J]) usable(w *worker, now clock.Millis) bool {
 	if w.Draining || p.quarantined[w.ID] || w.leaseEnd < now+p.settings.LeaseMillis/4 {
 		return false
@@ -141,28 +143,28 @@
 
 // start assigns a task to a worker and adds the start action to the plan.
 func (p *Placer[F, S, J]) start(t *task, w *worker, now clock.Millis) {
-	tm := p.teams[t.Team]
-	tm.setDisrupted(t, false)
+	customer := p.customers[t.Customer]
+	customer.setDisrupted(t, false)
 	t.phase, t.worker, t.startedAt, t.leaseEnd, t.cpuPercent = PhaseRunning, w, now, w.leaseEnd, 100
 	t.attempt = max(t.attempt, p.term*attemptsPerTerm) + 1
 	w.tasks[t.ID] = t
 	if !w.proven {
 		p.timers.Push(timer{at: now + p.settings.TrialMillis, worker: w.ID})
 	}
-	p.resize(t, p.reservation(t.Task))
+	p.resize(t, p.sizeToReserve(t.Task))
 	p.out.Actions = append(p.out.Actions, Action{
 		Kind: ActionStart, Worker: w.ID, Task: t.ID, Attempt: t.attempt, Size: t.reserved, LeaseEnd: w.leaseEnd,
 	})
 }
 
-// startWaiting starts tasks team by team. The team with the most urgent first
-// task goes first; among equals, the one that uses the smallest share of its
-// quota.
+// startWaiting starts tasks customer by customer. The customer with the most
+// urgent first task goes first; among equals, the one that uses the smallest
+// share of its quota.
 func (p *Placer[F, S, J]) startWaiting(now clock.Millis) {
-	active := make([]*team, 0, len(p.teams))
-	for _, id := range sortedKeys(p.teams) {
-		if tm := p.teams[id]; !tm.blocked && tm.firstWaiting() != nil {
-			active = append(active, tm)
+	active := make([]*customerState, 0, len(p.customers))
+	for _, id := range sortedKeys(p.customers) {
+		if customer := p.customers[id]; !customer.blocked && customer.firstWaiting() != nil {
+			active = append(active, customer)
 		}
 	}
 	var failed []Size
@@ -173,18 +175,18 @@
 				best = k
 			}
 		}
-		tm := active[best]
-		if !p.startOne(tm, now, &failed) {
-			tm.blocked = true
+		customer := active[best]
+		if !p.startOne(customer, now, &failed) {
+			customer.blocked = true
 		}
-		if tm.blocked || tm.firstWaiting() == nil {
+		if customer.blocked || customer.firstWaiting() == nil {
 			active = slices.Delete(active, best, best+1)
 		}
 	}
 }
 
-// startsBefore reports whether team a is served before team p.
-func startsBefore(a, b *team) bool {
+// startsBefore reports whether customer a is served before customer b.
+func startsBefore(a, b *customerState) bool {
 	x, y := a.firstWaiting(), b.firstWaiting()
 	if x.Urgent != y.Urgent {
 		return x.Urgent
@@ -195,44 +197,45 @@
 	return a.quotaShare() < b.quotaShare()
 }
 
-// startOne starts the first of the team's waiting tasks that can start, within
-// the lookahead. failed collects the sizes that fit on no worker.
-func (p *Placer[F, S, J]) startOne(tm *team, now clock.Millis, failed *[]Size) bool {
+// startOne calls tryStart for the customer's first waiting tasks, at most
+// Lookahead of them, until one succeeds, and reports whether one did. failed
+// collects the sizes that fit on no worker.
+func (p *Placer[F, S, J]) startOne(customer *customerState, now clock.Millis, failed *[]Size) bool {
 	var tried []*task
-	var firstLimit Limit
+	var firstReason WaitReason
 	started := false
 	for range p.settings.Lookahead {
-		t := tm.firstWaiting()
+		t := customer.firstWaiting()
 		if t == nil {
 			break
 		}
-		tm.pop()
+		customer.pop()
 		tried = append(tried, t)
-		if started = p.tryStart(tm, t, now, failed); started {
+		if started = p.tryStart(customer, t, now, failed); started {
 			break
 		}
 		if len(tried) == 1 {
-			firstLimit = tm.limit
+			firstReason = customer.waitReason
 		}
 	}
 	for _, t := range tried {
 		if t.phase == PhaseWaiting && t.reservedOn == nil {
-			tm.push(t)
+			customer.push(t)
 		}
 	}
-	tm.limit = firstLimit
+	customer.waitReason = firstReason
 	return started
 }
 
 // tryStart starts a task, or frees capacity for it if it is urgent, and reports
-// whether it did either. Otherwise it sets the team's limit.
-func (p *Placer[F, S, J]) tryStart(tm *team, t *task, now clock.Millis, failed *[]Size) bool {
-	need := p.reservation(t.Task)
-	if !tm.used.Plus(need).Fits(tm.contract.Quota) {
-		tm.limit = LimitQuota
+// whether it did either. Otherwise it sets the customer's waitReason.
+func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, failed *[]Size) bool {
+	need := p.sizeToReserve(t.Task)
+	if !customer.used.Plus(need).Fits(customer.contract.Quota) {
+		customer.waitReason = WaitQuota
 		return false
 	}
-	tm.limit = LimitCapacity
+	customer.waitReason = WaitCapacity
 	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
 		if w := p.chooseWorker(t, need, now); w != nil {
 			p.start(t, w, now)
@@ -243,7 +246,7 @@
 		}
 	}
 	if t.Urgent {
-		return p.preemptFor(tm, t, need, now)
+		return p.preemptFor(customer, t, need, now)
 	}
 	return false
 }
@@ -273,8 +276,10 @@
 	return nil
 }
 
-// scanWorkers examines all workers by name. It is used by the baseline policy
-// and when the index is disabled.
+// scanWorkers examines all workers in the order of their names. It returns the
+// first suitable one if step is 0, and the one that comes first in the order of
+// the fit policy otherwise. It is used by the baseline policy and when the
+// index is disabled.
 func (p *Placer[F, S, J]) scanWorkers(suitable func(WorkerID) *worker, step int) *worker {
 	var best *worker
 	for _, id := range sortedKeys(p.workers) {
@@ -293,19 +298,19 @@
 	return best
 }
 
-// addWait adds the reason why the team's first waiting task does not start to
-// the plan.
-func (p *Placer[F, S, J]) addWait(id model.Customer, tm *team) {
-	t := tm.firstWaiting()
-	if t == nil || !tm.blocked {
+// addWait adds the reason why the customer's first waiting task does not start
+// to the plan.
+func (p *Placer[F, S, J]) addWait(id model.Customer, customer *customerState) {
+	t := customer.firstWaiting()
+	if t == nil || !customer.blocked {
 		return
 	}
-	w := Wait{Team: id, Task: t.ID, Limit: tm.limit, Need: p.reservation(t.Task)}
-	switch tm.limit {
-	case LimitQuota:
-		w.Unblock = fmt.Sprintf("tasks of %s end; it holds %v of %v", id, tm.used, tm.contract.Quota)
-	case LimitBudget:
-		w.Unblock = "the disruption budgets of running tasks allow to make room, or tasks end"
+	w := Wait{Customer: id, Task: t.ID, Reason: customer.waitReason, Need: p.sizeToReserve(t.Task)}
+	switch customer.waitReason {
+	case WaitQuota:
+		w.Unblock = fmt.Sprintf("tasks of customer %s end; it uses %v of its quota of %v", id, customer.used, customer.contract.Quota)
+	case WaitBudget:
+		w.Unblock = "disruption budgets allow running tasks to be disrupted, or tasks end"
 	default:
 		w.Unblock = "tasks end or workers are added"
 	}
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -41,8 +41,8 @@
 	// MaxFailedWorkers is the number of different workers on which a task may
 	// fail before it is given up; at least 1.
 	MaxFailedWorkers int
-	// Lookahead is the number of waiting tasks of a team that are tried when
-	// the first one cannot start; at least 1.
+	// Lookahead is the number of waiting tasks of a customer that are tried
+	// when the first one cannot start; at least 1.
 	Lookahead int
 	// StopsPerPass is the most stops that cancellations cause in one pass, so
 	// that many cancellations at once do not delay starts. The remaining stops
@@ -65,11 +65,13 @@
 
 // Task is a unit of work that runs on one worker.
 type Task struct {
-	ID   TaskID
-	Team model.Customer
-	// Class groups the similar tasks of a team. Sizes and failure rates are
+	ID       TaskID
+	Customer model.Customer
+	// Class groups the similar tasks of a customer. Sizes and failure rates are
 	// learned per class.
-	Class    string
+	Class string
+	// Urgent tasks start before all others and may preempt them. Among tasks
+	// of equal urgency, those with a higher Priority start first.
 	Urgent   bool
 	Priority int
 	// Declared is the size that the submitter states. It counts only until the
@@ -128,8 +130,9 @@
 	Kind   ActionKind
 	Worker WorkerID
 	Task   TaskID
-	// Attempt numbers the starts of a task from 1. The platform repeats it in
-	// its reports, so that late reports of an earlier attempt are recognised.
+	// Attempt numbers the starts of a task; later starts have higher numbers.
+	// The platform repeats it in its reports, so that late reports of an
+	// earlier attempt are recognised.
 	Attempt int
 	Size    Size
 	// CPUPercent is the share of its reserved processors that a throttled task
@@ -140,25 +143,30 @@
 	Reason   string
 }
 
-// Limit names what prevents a waiting task from starting.
-type Limit string
+// WaitReason names what prevents a waiting task from starting.
+type WaitReason string
 
-// The limits.
+// The reasons for waiting.
 const (
-	LimitQuota     Limit = "quota"
-	LimitCapacity  Limit = "room"
-	LimitBudget    Limit = "disruption-budget"
-	LimitReserving Limit = "room-being-made"
+	// WaitQuota means that the customer would exceed its quota.
+	WaitQuota WaitReason = "quota"
+	// WaitCapacity means that no worker has enough free capacity.
+	WaitCapacity WaitReason = "room"
+	// WaitBudget means that no worker has enough free capacity for an urgent
+	// task, and disruption budgets do not allow freeing it.
+	WaitBudget WaitReason = "disruption-budget"
+	// WaitReserving means that capacity is being freed for the task.
+	WaitReserving WaitReason = "room-being-made"
 )
 
-// Wait explains why the first waiting task of a team does not start. Unblock
-// says what would let it start.
+// Wait explains why the first waiting task of a customer does not start.
+// Unblock says what would let it start.
 type Wait struct {
-	Team    model.Customer
-	Task    TaskID
-	Limit   Limit
-	Need    Size
-	Unblock string
+	Customer model.Customer
+	Task     TaskID
+	Reason   WaitReason
+	Need     Size
+	Unblock  string
 }
 
 // GivenUp is a task that will not be run again, and the reason.
