Name the unit of the name length limit

MaxName could be read as a largest name; MaxNameBytes says what it counts. Only a rename. Checks: go build, go vet and tests of the two packages.

--- a/core/state/model/name.go
+++ b/core/state/model/name.go
@@ -1,14 +1,14 @@
 package model
 
-// MaxName is the largest length of a name, in bytes.
-const MaxName = 64
+// MaxNameBytes is the largest length of a name, in bytes.
+const MaxNameBytes = 64
 
 // ValidName reports whether s is a valid name of a customer, a pool, an instance, a
-// zone, a rack or a process: 1 to MaxName ASCII letters, digits, '-' and '_',
+// zone, a rack or a process: 1 to MaxNameBytes ASCII letters, digits, '-' and '_',
 // starting with a letter or digit. Names are used without escaping in paths,
 // headers, files and metrics.
 func ValidName(s string) bool {
-	if s == "" || len(s) > MaxName {
+	if s == "" || len(s) > MaxNameBytes {
 		return false
 	}
 	for i := range len(s) {
--- a/io/trans/peers/announce.go
+++ b/io/trans/peers/announce.go
@@ -107,7 +107,7 @@
 func (p *formParser) name(field string) string {
 	v := p.form.Get(field)
 	if !model.ValidName(v) {
-		p.fail(field, v, fmt.Sprintf("1 to %d letters, digits, dashes or underscores, starting with a letter or digit", model.MaxName))
+		p.fail(field, v, fmt.Sprintf("1 to %d letters, digits, dashes or underscores, starting with a letter or digit", model.MaxNameBytes))
 		return ""
 	}
 	return v
