Reword the announcement roster

The roster's receiver was t and its records r, left over from older names; they are r and rec now. Refusals name the instance and what is allowed. Test heads begin with the name of the test.

--- a/core/state/member/error.go
+++ b/core/state/member/error.go
@@ -25,6 +25,7 @@
 
 // Error describes why an announcement was refused.
 type Error struct {
+	// Op is the operation that failed: "announce".
 	Op   string
 	Kind Kind
 	Err  error
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -23,37 +23,38 @@
 	return ReceivedAnnouncement{Announcement: a, Direct: true}
 }
 
-// Guards against accepting announcements that contradict the recorded state.
+// TestAcceptRules guards against accepting announcements that contradict the
+// recorded state.
 func TestAcceptRules(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		change func(h *ReceivedAnnouncement)
+		change func(ra *ReceivedAnnouncement)
 		kind   Kind
 		ok     bool
 	}{
 		{"again", func(*ReceivedAnnouncement) {}, 0, true},
-		{"leaving", func(h *ReceivedAnnouncement) { h.Announcement.State = model.AnnounceLeaving }, 0, true},
-		{"lower incarnation", func(h *ReceivedAnnouncement) { h.Announcement.Incarnation = 4 }, KindIncarnation, false},
-		{"other pool", func(h *ReceivedAnnouncement) { h.Announcement.Pool = "q" }, KindPool, false},
-		{"other address", func(h *ReceivedAnnouncement) { h.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
-		{"restarted elsewhere", func(h *ReceivedAnnouncement) {
-			h.Announcement.Incarnation, h.Announcement.Pool, h.Announcement.Address = 6, "q", "10.0.0.9:9"
+		{"leaving", func(ra *ReceivedAnnouncement) { ra.Announcement.State = model.AnnounceLeaving }, 0, true},
+		{"lower incarnation", func(ra *ReceivedAnnouncement) { ra.Announcement.Incarnation = 4 }, KindIncarnation, false},
+		{"other pool", func(ra *ReceivedAnnouncement) { ra.Announcement.Pool = "q" }, KindPool, false},
+		{"other address", func(ra *ReceivedAnnouncement) { ra.Announcement.Address = "10.0.0.9:9" }, KindAddress, false},
+		{"restarted elsewhere", func(ra *ReceivedAnnouncement) {
+			ra.Announcement.Incarnation, ra.Announcement.Pool, ra.Announcement.Address = 6, "q", "10.0.0.9:9"
 		}, 0, true},
-		{"address of another", func(h *ReceivedAnnouncement) { h.Announcement.Instance = "b" }, KindAddress, false},
-		{"other zone", func(h *ReceivedAnnouncement) { h.Announcement.Zone = "y" }, KindZone, false},
-		{"no slots", func(h *ReceivedAnnouncement) { h.Announcement.Slots = 0 }, KindInvalid, false},
-		{"no incarnation", func(h *ReceivedAnnouncement) { h.Announcement.Incarnation = 0 }, KindInvalid, false},
-		{"no pool", func(h *ReceivedAnnouncement) { h.Announcement.Pool = "" }, KindInvalid, false},
-		{"unknown state", func(h *ReceivedAnnouncement) { h.Announcement.State = 7 }, KindInvalid, false},
-		{"too old", func(h *ReceivedAnnouncement) { h.Age = DefaultLease }, KindStale, false},
+		{"address of another", func(ra *ReceivedAnnouncement) { ra.Announcement.Instance = "b" }, KindAddress, false},
+		{"other zone", func(ra *ReceivedAnnouncement) { ra.Announcement.Zone = "y" }, KindZone, false},
+		{"no slots", func(ra *ReceivedAnnouncement) { ra.Announcement.Slots = 0 }, KindInvalid, false},
+		{"no incarnation", func(ra *ReceivedAnnouncement) { ra.Announcement.Incarnation = 0 }, KindInvalid, false},
+		{"no pool", func(ra *ReceivedAnnouncement) { ra.Announcement.Pool = "" }, KindInvalid, false},
+		{"unknown state", func(ra *ReceivedAnnouncement) { ra.Announcement.State = 7 }, KindInvalid, false},
+		{"too old", func(ra *ReceivedAnnouncement) { ra.Age = DefaultLease }, KindStale, false},
 	} {
 		r := New(Settings{Zone: "z"}, 0)
 		_, err := r.Accept(0, direct(announcement("a", 5)))
 		assert.NilError(t, err)
-		h := direct(announcement("a", 5))
-		c.change(&h)
+		ra := direct(announcement("a", 5))
+		c.change(&ra)
 		before, _ := r.Get("a")
-		_, err = r.Accept(10, h)
+		_, err = r.Accept(10, ra)
 		if c.ok {
 			assert.NilError(t, err, c.name)
 			continue
@@ -66,8 +67,8 @@
 	}
 }
 
-// Guards against a stale forwarded announcement that revives a process that is
-// leaving or was replaced.
+// TestLeavingIsFinalWithinAnIncarnation guards against a stale forwarded
+// announcement that revives a process that is leaving or was replaced.
 func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
 	r := New(Settings{Zone: "z"}, 0)
 	a := announcement("a", 1)
@@ -90,8 +91,8 @@
 	assert.NilError(t, err)
 }
 
-// Guards against leases that end too late or too early, move back, or are reported
-// twice as expired, while announcements arrive late and out of order.
+// TestLeases guards against leases that end too late or too early, move back, or
+// are reported twice as expired, while announcements arrive late and out of order.
 func TestLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const lease = 900
@@ -103,14 +104,14 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"announce": func(t *rapid.T) {
 				a := announcement(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
-				h := ReceivedAnnouncement{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
-				_, err := r.Accept(now, h)
-				allowed := h.Age < lease && a.Incarnation >= incarnation[a.Instance]
+				ra := ReceivedAnnouncement{Announcement: a, Age: clock.Millis(rapid.IntRange(0, 1000).Draw(t, "age")), Direct: rapid.Bool().Draw(t, "direct")}
+				_, err := r.Accept(now, ra)
+				allowed := ra.Age < lease && a.Incarnation >= incarnation[a.Instance]
 				assert.Equal(t, err == nil, allowed, "%v", err)
 				if !allowed {
 					return
 				}
-				end := now - h.Age + lease
+				end := now - ra.Age + lease
 				if a.Incarnation == incarnation[a.Instance] {
 					end = max(end, expires[a.Instance])
 				}
@@ -120,7 +121,7 @@
 				now += clock.Millis(rapid.IntRange(1, 800).Draw(t, "ms"))
 				for _, gone := range r.Expire(now, nil) {
 					id := gone.Announcement.Instance
-					assert.Assert(t, !expired[id], "the end was reported twice")
+					assert.Assert(t, !expired[id], "the end of the lease was reported twice")
 					assert.Assert(t, expires[id] <= now)
 					expired[id] = true
 				}
@@ -136,8 +137,9 @@
 	})
 }
 
-// Guards against a process that expires all leases after it was itself paused, and
-// against one whose pauses keep the leases of dead instances valid.
+// TestPauseExtendsLeases guards against a process that expires all leases after it
+// was itself paused, and against one whose pauses keep the leases of dead instances
+// valid.
 func TestPauseExtendsLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := New(Settings{Zone: "z"}, 0)
@@ -151,8 +153,8 @@
 		_, err = r.Accept(now, direct(announcement("a", 1)))
 		assert.NilError(t, err)
 		resumed := now + clock.Millis(rapid.Int64Range(1001, 1<<30).Draw(t, "pause"))
-		for _, l := range r.Expire(resumed, nil) {
-			assert.Assert(t, l.Announcement.Instance != "a", "the lease of a expired at the end of the pause")
+		for _, rec := range r.Expire(resumed, nil) {
+			assert.Assert(t, rec.Announcement.Instance != "a", "the lease of a expired at the end of the pause")
 		}
 		a, _ := r.Get("a")
 		assert.Equal(t, a.ExpiresAt, resumed+DefaultLease)
@@ -167,8 +169,8 @@
 	})
 }
 
-// Guards against neighbours that miss updates, get old ones again, or get back the
-// ones that they sent.
+// TestUpdatesForNeighbours guards against neighbours that miss updates, get old
+// ones again, or get back the ones that they sent.
 func TestUpdatesForNeighbours(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(Settings{Zone: "z"}, 0), New(Settings{Zone: "z"}, 0)
@@ -184,9 +186,9 @@
 			}
 			updates, latest := a.UpdatesSince(now+5, seq)
 			assert.Equal(t, len(updates), len(announced))
-			for _, h := range updates {
-				assert.Assert(t, announced[h.Announcement.Instance] && !h.Direct && h.Age == 5)
-				_, err := b.Accept(now+5, h)
+			for _, ra := range updates {
+				assert.Assert(t, announced[ra.Announcement.Instance] && !ra.Direct && ra.Age == 5)
+				_, err := b.Accept(now+5, ra)
 				assert.NilError(t, err)
 			}
 			seq = latest
@@ -196,7 +198,8 @@
 	})
 }
 
-// Guards against records that accumulate as instances are replaced.
+// TestOldRecordsAreForgotten guards against records that accumulate as instances
+// are replaced.
 func TestOldRecordsAreForgotten(t *testing.T) {
 	r := New(Settings{Zone: "z", MaxTickGap: clock.Day}, 0)
 	for i := range 50 {
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -92,22 +92,22 @@
 }
 
 // Lease returns the duration of the lease of an accepted announcement.
-func (t *Roster) Lease() clock.Millis { return t.cfg.Lease }
+func (r *Roster) Lease() clock.Millis { return r.cfg.Lease }
 
 // Tick sets the current time and reports whether this process was paused. After a
 // gap longer than MaxTickGap, the process itself was paused and could not receive
 // announcements, so every lease that was valid at the last tick is extended to at
 // least one full lease from now.
-func (t *Roster) Tick(now clock.Millis) (paused bool) {
-	before := t.lastTick
-	t.lastTick = max(t.lastTick, now)
-	if now-before <= t.cfg.MaxTickGap {
+func (r *Roster) Tick(now clock.Millis) (paused bool) {
+	before := r.lastTick
+	r.lastTick = max(r.lastTick, now)
+	if now-before <= r.cfg.MaxTickGap {
 		return false
 	}
-	t.Pauses++
-	for _, r := range t.records {
-		if r.ExpiresAt > before {
-			r.ExpiresAt = max(r.ExpiresAt, now+t.cfg.Lease)
+	r.Pauses++
+	for _, rec := range r.records {
+		if rec.ExpiresAt > before {
+			rec.ExpiresAt = max(rec.ExpiresAt, now+r.cfg.Lease)
 		}
 	}
 	return true
@@ -115,76 +115,78 @@
 
 // Accept records an announcement, or returns an *Error if it is refused. changed
 // reports whether anything but the lease has changed.
-func (t *Roster) Accept(now clock.Millis, ra ReceivedAnnouncement) (changed bool, err error) {
-	t.Tick(now)
-	if e := t.check(now, ra); e != nil {
+func (r *Roster) Accept(now clock.Millis, ra ReceivedAnnouncement) (changed bool, err error) {
+	r.Tick(now)
+	if e := r.check(now, ra); e != nil {
 		return false, e
 	}
 	a := ra.Announcement
-	r := t.records[a.Instance]
-	if r == nil {
-		r = &Record{}
-		t.records[a.Instance] = r
+	rec := r.records[a.Instance]
+	if rec == nil {
+		rec = &Record{}
+		r.records[a.Instance] = rec
 	}
-	changed = r.Announcement != a || r.Expired || r.SentAt == 0
-	if r.Announcement.Incarnation != a.Incarnation {
-		r.ExpiresAt = 0
+	changed = rec.Announcement != a || rec.Expired || rec.SentAt == 0
+	// The lease of an earlier incarnation does not carry over to a new process.
+	if rec.Announcement.Incarnation != a.Incarnation {
+		rec.ExpiresAt = 0
 	}
-	if old := r.Announcement.Address; old != a.Address && t.byAddress[old] == a.Instance {
-		delete(t.byAddress, old)
+	if old := rec.Announcement.Address; old != a.Address && r.byAddress[old] == a.Instance {
+		delete(r.byAddress, old)
 	}
-	r.Announcement = a
-	r.SentAt = max(r.SentAt, now-ra.Age)
-	r.ExpiresAt = max(r.ExpiresAt, now-ra.Age+t.cfg.Lease)
-	r.Expired = false
-	t.byAddress[a.Address] = a.Instance
+	rec.Announcement = a
+	rec.SentAt = max(rec.SentAt, now-ra.Age)
+	rec.ExpiresAt = max(rec.ExpiresAt, now-ra.Age+r.cfg.Lease)
+	rec.Expired = false
+	r.byAddress[a.Address] = a.Instance
 	if ra.Direct {
-		t.seq++
-		t.unlink(r)
-		r.Seq = t.seq
-		t.link(r)
+		r.seq++
+		r.unlink(rec)
+		rec.Seq = r.seq
+		r.link(rec)
 	}
 	return changed, nil
 }
 
 // check returns the reason why an announcement is refused; nil if it is accepted.
-func (t *Roster) check(now clock.Millis, ra ReceivedAnnouncement) *Error {
+func (r *Roster) check(now clock.Millis, ra ReceivedAnnouncement) *Error {
 	a := ra.Announcement
-	if e := validate(a, t.cfg.Zone); e != nil {
+	if e := validate(a, r.cfg.Zone); e != nil {
 		return e
 	}
-	if ra.Age < 0 || ra.Age >= t.cfg.Lease {
-		return refusal(KindStale, "the announcement was %d ms under way", ra.Age)
+	if ra.Age < 0 || ra.Age >= r.cfg.Lease {
+		return refusal(KindStale, "the age of the announcement is %d ms, which is negative or not below the lease", ra.Age)
 	}
-	if other, ok := t.byAddress[a.Address]; ok && other != a.Instance {
-		if o := t.records[other]; o != nil && o.Live(now) && o.Announcement.State == model.AnnounceServing {
+	if other, ok := r.byAddress[a.Address]; ok && other != a.Instance {
+		if o := r.records[other]; o != nil && o.Live(now) && o.Announcement.State == model.AnnounceServing {
 			return refusal(KindAddress, "address %s is in use by instance %s", a.Address, other)
 		}
 	}
-	r := t.records[a.Instance]
-	if r == nil {
+	rec := r.records[a.Instance]
+	if rec == nil {
 		return nil
 	}
-	current := r.Announcement
+	current := rec.Announcement
 	switch {
 	case a.Incarnation < current.Incarnation:
-		return refusal(KindIncarnation, "incarnation %d of %s is below %d", a.Incarnation, a.Instance, current.Incarnation)
+		return refusal(KindIncarnation, "incarnation %d of instance %s is below the recorded incarnation %d", a.Incarnation, a.Instance, current.Incarnation)
 	case a.Incarnation > current.Incarnation:
 		return nil
 	case a.Pool != current.Pool:
-		return refusal(KindPool, "%s announced pool %s and %s under incarnation %d", a.Instance, current.Pool, a.Pool, a.Incarnation)
+		return refusal(KindPool, "instance %s announced pool %s and %s under incarnation %d", a.Instance, current.Pool, a.Pool, a.Incarnation)
 	case a.Address != current.Address:
-		return refusal(KindAddress, "%s announced address %s and %s under incarnation %d", a.Instance, current.Address, a.Address, a.Incarnation)
+		return refusal(KindAddress, "instance %s announced address %s and %s under incarnation %d", a.Instance, current.Address, a.Address, a.Incarnation)
 	case current.State == model.AnnounceLeaving && a.State != model.AnnounceLeaving:
-		return refusal(KindStale, "%s is leaving under incarnation %d", a.Instance, a.Incarnation)
+		return refusal(KindStale, "instance %s is leaving under incarnation %d", a.Instance, a.Incarnation)
 	}
 	return nil
 }
 
+// validate checks the fields of an announcement without regard to earlier ones.
 func validate(a model.Announcement, zone model.Zone) *Error {
 	switch {
 	case a.Instance == "" || a.Pool == "" || a.Address == "" || a.Zone == "":
-		return refusal(KindInvalid, "instance, zone, pool and address are needed")
+		return refusal(KindInvalid, "instance, zone, pool and address must not be empty")
 	case a.Slots < 1 || a.Connections < 1:
 		return refusal(KindInvalid, "slots and connections must be at least 1")
 	case a.Incarnation == 0:
@@ -199,38 +201,38 @@
 
 // Expire marks the records whose lease has ended, appends them to buf, and drops
 // those whose lease ended more than ForgetAfter ago.
-func (t *Roster) Expire(now clock.Millis, buf []Record) []Record {
-	t.Tick(now)
-	for id, r := range t.records {
+func (r *Roster) Expire(now clock.Millis, buf []Record) []Record {
+	r.Tick(now)
+	for id, rec := range r.records {
 		switch {
-		case r.Live(now):
-		case !r.Expired:
-			r.Expired = true
-			buf = append(buf, *r)
-		case now-r.ExpiresAt > ForgetAfter:
-			t.unlink(r)
-			if t.byAddress[r.Announcement.Address] == id {
-				delete(t.byAddress, r.Announcement.Address)
+		case rec.Live(now):
+		case !rec.Expired:
+			rec.Expired = true
+			buf = append(buf, *rec)
+		case now-rec.ExpiresAt > ForgetAfter:
+			r.unlink(rec)
+			if r.byAddress[rec.Announcement.Address] == id {
+				delete(r.byAddress, rec.Announcement.Address)
 			}
-			delete(t.records, id)
+			delete(r.records, id)
 		}
 	}
 	return buf
 }
 
 // Get returns the record of an instance; false if there is none.
-func (t *Roster) Get(id model.InstanceID) (Record, bool) {
-	r := t.records[id]
-	if r == nil {
+func (r *Roster) Get(id model.InstanceID) (Record, bool) {
+	rec := r.records[id]
+	if rec == nil {
 		return Record{}, false
 	}
-	return *r, true
+	return *rec, true
 }
 
 // Each calls f for every record.
-func (t *Roster) Each(f func(*Record)) {
-	for _, r := range t.records {
-		f(r)
+func (r *Roster) Each(f func(*Record)) {
+	for _, rec := range r.records {
+		f(rec)
 	}
 }
 
@@ -238,38 +240,41 @@
 // after a sequence number, for forwarding to neighbours, and the latest sequence
 // number, which the next call starts from. Its cost is proportional to the number
 // of updates.
-func (t *Roster) UpdatesSince(now clock.Millis, since uint64) (updates []ReceivedAnnouncement, latest uint64) {
-	for r := t.last; r != nil && r.Seq > since; r = r.prev {
-		if r.Live(now) {
-			updates = append(updates, ReceivedAnnouncement{Announcement: r.Announcement, Age: now - r.SentAt})
+func (r *Roster) UpdatesSince(now clock.Millis, since uint64) (updates []ReceivedAnnouncement, latest uint64) {
+	for rec := r.last; rec != nil && rec.Seq > since; rec = rec.prev {
+		if rec.Live(now) {
+			updates = append(updates, ReceivedAnnouncement{Announcement: rec.Announcement, Age: now - rec.SentAt})
 		}
 	}
-	return updates, t.seq
+	return updates, r.seq
 }
 
-func (t *Roster) link(r *Record) {
-	r.prev = t.last
-	if t.last == nil {
-		t.first = r
+// link appends a record to the linked list. It must not be linked already.
+func (r *Roster) link(rec *Record) {
+	rec.prev = r.last
+	if r.last == nil {
+		r.first = rec
 	} else {
-		t.last.next = r
+		r.last.next = rec
 	}
-	t.last = r
+	r.last = rec
 }
 
-func (t *Roster) unlink(r *Record) {
-	if r.Seq == 0 {
+// unlink removes a record from the linked list. It ignores records without a Seq,
+// which are not linked.
+func (r *Roster) unlink(rec *Record) {
+	if rec.Seq == 0 {
 		return
 	}
-	if r.prev == nil {
-		t.first = r.next
+	if rec.prev == nil {
+		r.first = rec.next
 	} else {
-		r.prev.next = r.next
+		rec.prev.next = rec.next
 	}
-	if r.next == nil {
-		t.last = r.prev
+	if rec.next == nil {
+		r.last = rec.prev
 	} else {
-		r.next.prev = r.prev
+		rec.next.prev = rec.prev
 	}
-	r.prev, r.next = nil, nil
+	rec.prev, rec.next = nil, nil
 }
