Begin test comments with the name of the test

Comments of tests in admit, fleet, maint and route started with 'Guards against'; comments of most other packages start with the test's name. Only comments change. Checks: go vet of the four packages.

--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -11,7 +11,8 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against shares that do not add up to the total of the contract.
+// TestSharesAddUpToTheTotal guards against shares that do not add up to the total
+// of the contract.
 func TestSharesAddUpToTheTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := rapid.IntRange(0, 10_000).Draw(t, "total")
@@ -36,8 +37,8 @@
 	assert.Equal(t, Share(10, rank, count), 0)
 }
 
-// Guards against a limit that is not derived from the promised instances of the
-// contract.
+// TestLimitOfContract guards against a limit that is not derived from the promised
+// instances of the contract.
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
@@ -84,8 +85,9 @@
 	}
 }
 
-// Guards against more requests in flight or waiting than a share allows, expired or
-// cancelled requests that run, and requests that are lost or never removed.
+// TestControllerKeepsLimits guards against more requests in flight or waiting than
+// a share allows, expired or cancelled requests that run, and requests that are
+// lost or never removed.
 func TestControllerKeepsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulation{
@@ -184,7 +186,8 @@
 	return a, b
 }
 
-// Guards against a flood of requests of one customer that starves another.
+// TestFloodDoesNotStarve guards against a flood of requests of one customer that
+// starves another.
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
@@ -196,8 +199,8 @@
 	assert.Assert(t, b < 10, "the baseline is expected to starve b, which got %d", b)
 }
 
-// Guards against queueing a request that cannot end before its deadline, and
-// against refusing one that can.
+// TestEnqueueChecksDeadline guards against queueing a request that cannot end
+// before its deadline, and against refusing one that can.
 func TestEnqueueChecksDeadline(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
@@ -219,7 +222,8 @@
 	assert.Equal(t, w.Ref, 1)
 }
 
-// Guards against a few long requests that keep all short ones from being queued.
+// TestFewLongRequestsDoNotCloseTheQueue guards against a few long requests that
+// keep all short ones from being queued.
 func TestFewLongRequestsDoNotCloseTheQueue(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	g.SetCustomer("a", Limit{MaxInFlight: 4, MaxQueued: 100, Weight: 1}, []model.PoolShare{{Pool: "p"}})
@@ -237,7 +241,8 @@
 	assert.Equal(t, reason, ReasonNone)
 }
 
-// Guards against more retries than RetryPercent of the first attempts, plus one.
+// TestRetryBudget guards against more retries than RetryPercent of the first
+// attempts, plus one.
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(0, 50).Draw(t, "percent")
@@ -258,7 +263,8 @@
 	})
 }
 
-// Guards against losing count of the requests in flight of a removed contract.
+// TestContractRemovedAndAppliedAgain guards against losing count of the requests in
+// flight of a removed contract.
 func TestContractRemovedAndAppliedAgain(t *testing.T) {
 	g := New[WeightedFair, int](WeightedFair{})
 	pools := []model.PoolShare{{Pool: "p"}}
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -303,8 +303,9 @@
 	assert.Assert(t, !fleet.Merge(&late, model.Delta{To: 1, Full: true}), "the version of a table never decreases")
 }
 
-// Guards against a claim that stays running after its process has died, and against
-// a claim of the present incarnation that becomes unknown.
+// TestNewRunEndsEarlierRequests guards against a claim that stays running after its
+// process has died, and against a claim of the present incarnation that becomes
+// unknown.
 func TestNewRunEndsEarlierRequests(t *testing.T) {
 	s := fleet.New()
 	key := func(k string) model.ClaimKey { return model.ClaimKey{Customer: "acme", Service: "merge", Key: k} }
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// Guards against exceeding max-unavailable, disrupting a second failure domain, a
-// new leader that decides differently, and a deadline that is missed without a
-// report, while unplanned losses occur at any time.
+// TestWavesUnderLosses guards against exceeding max-unavailable, disrupting a
+// second failure domain, a new leader that decides differently, and a deadline that
+// is missed without a report, while unplanned losses occur at any time.
 func TestWavesUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 18).Draw(t, "n")
@@ -79,7 +79,8 @@
 	})
 }
 
-// Guards against exceeding the window budget while all outages are planned.
+// TestWindowBudgetHolds guards against exceeding the window budget while all
+// outages are planned.
 func TestWindowBudgetHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newFakeFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 12).Draw(t, "n"), 3, 1, 1, model.DomainZone, 3)
@@ -96,8 +97,8 @@
 	})
 }
 
-// Guards against missing a deadline that equals the estimate at the declaration,
-// for each pacer, while there is no pressure.
+// TestFeasibleDeadlinesAreMet guards against missing a deadline that equals the
+// estimate at the declaration, for each pacer, while there is no pressure.
 func TestFeasibleDeadlinesAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "n")
@@ -121,8 +122,8 @@
 	})
 }
 
-// Guards against a wave that continues although its touched instances fail, and
-// against one that stops although they are healthy.
+// TestWaveStopsOnFailures guards against a wave that continues although its touched
+// instances fail, and against one that stops although they are healthy.
 func TestWaveStopsOnFailures(t *testing.T) {
 	for _, bad := range []bool{false, true} {
 		w := newFakeFleet(7, 30, 3, 3, 3, model.DomainRack, 4)
@@ -138,8 +139,8 @@
 	}
 }
 
-// Guards against a pacer that ignores pressure, and against waits that name the
-// wrong limit or do not say what ends them.
+// TestPressureSlowsWave guards against a pacer that ignores pressure, and against
+// waits that name the wrong limit or do not say what ends them.
 func TestPressureSlowsWave(t *testing.T) {
 	w := newFakeFleet(3, 30, 3, 1, 1, model.DomainZone, 6)
 	w.instances["i0000"] = maintainedAt(w.instances["i0000"], w.now)
@@ -168,8 +169,9 @@
 	return i
 }
 
-// Guards against treating an instance that moves between pools as lost, which would
-// block or take back maintenance in other domains.
+// TestMovesDoNotBlockOtherDomains guards against treating an instance that moves
+// between pools as lost, which would block or take back maintenance in other
+// domains.
 func TestMovesDoNotBlockOtherDomains(t *testing.T) {
 	w := newFakeFleet(3, 12, 3, 1, 1, model.DomainZone, 3)
 	w.declare(clock.Day)
@@ -187,8 +189,9 @@
 	assert.Equal(t, plan.Waits[0].Limit, LimitMaxUnavailable, "the move counts as unavailable")
 }
 
-// Guards against an instance that is not maintained within its period although the
-// limits allow it. The first periods must all end within the first five days.
+// TestPeriodicGoal guards against an instance that is not maintained within its
+// period although the limits allow it. The first periods must all end within the
+// first five days.
 func TestPeriodicGoal(t *testing.T) {
 	w := newFakeFleet(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -32,8 +32,8 @@
 
 const start = 10 * clock.Second
 
-// Guards against entry processes that together use more slots or connections than
-// an upstream has.
+// TestSharesOfSlotsAddUp guards against entry processes that together use more
+// slots or connections than an upstream has.
 func TestSharesOfSlotsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 9).Draw(t, "count")
@@ -60,8 +60,9 @@
 	})
 }
 
-// Guards against new requests on an instance that is leaving, expired, released, or
-// whose zone or pool differs between the table and its announcement.
+// TestOnlyAgreedUpstreamsAreRoutable guards against new requests on an instance
+// that is leaving, expired, released, or whose zone or pool differs between the
+// table and its announcement.
 func TestOnlyAgreedUpstreamsAreRoutable(t *testing.T) {
 	for name, change := range map[string]func(i *model.Instance, a *model.Announcement, live *bool){
 		"leaving":        func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
@@ -92,8 +93,8 @@
 	}
 }
 
-// Guards against confirming a release while a request still runs on the instance,
-// and against never confirming it.
+// TestDrainedFollowsRequestsInFlight guards against confirming a release while a
+// request still runs on the instance, and against never confirming it.
 func TestDrainedFollowsRequestsInFlight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := pool(LeastLoaded{}, 3)
@@ -175,8 +176,8 @@
 	})
 }
 
-// Guards against ejections that leave less than half of a pool's upstreams in
-// service, and against slots that are not released.
+// TestEjectionKeepsHalfOfThePool guards against ejections that leave less than half
+// of a pool's upstreams in service, and against slots that are not released.
 func TestEjectionKeepsHalfOfThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 7).Draw(t, "upstreams")
@@ -223,9 +224,9 @@
 	})
 }
 
-// Guards against an upstream that fails all requests and attracts the most of them,
-// because failing is fast. Also guards against ejections for a fault that all
-// upstreams share.
+// TestFailingUpstreamIsEjected guards against an upstream that fails all requests
+// and attracts the most of them, because failing is fast. Also guards against
+// ejections for a fault that all upstreams share.
 func TestFailingUpstreamIsEjected(t *testing.T) {
 	for _, o := range []Outcome{OutcomeError, OutcomeUnknown, OutcomeTimeout, OutcomeConnect} {
 		r := pool(LeastLoaded{}, 4)
@@ -266,8 +267,8 @@
 	}
 }
 
-// Guards against counting the outcome of a request to an earlier process of an
-// upstream against the present process.
+// TestOutcomeOfEarlierProcessIsIgnored guards against counting the outcome of a
+// request to an earlier process of an upstream against the present process.
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	h, _ := r.Reserve(start, "p", "i0")
@@ -277,8 +278,8 @@
 	assert.Equal(t, h.Upstream.Running, 0)
 }
 
-// Guards against a new upstream that gets its full share at once, and against a
-// slow start of all upstreams when the router itself has just started.
+// TestSlowStart guards against a new upstream that gets its full share at once, and
+// against a slow start of all upstreams when the router itself has just started.
 func TestSlowStart(t *testing.T) {
 	r := pool(LeastLoaded{}, 2)
 	assert.Equal(t, r.Capacity(0, "p"), 16)
@@ -289,7 +290,8 @@
 	assert.Equal(t, r.Capacity(start+SlowStart, "p"), 24)
 }
 
-// Guards against a choice that ignores the load, as the round-robin baseline does.
+// TestLeastLoadedEvensOut guards against a choice that ignores the load, as the
+// round-robin baseline does.
 func TestLeastLoadedEvensOut(t *testing.T) {
 	uneven := func(pick func() (Reservation, bool), end func(Reservation)) int {
 		// Requests on i0 never end; all others end at once.
