Reword the domain types and the replicated state

Says what the values of a claim state and the status of a claim mean, and how the keys of Authors are built. Locals and tests say reason, replica, winner and loser where they said err, twin, one and other.

--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -56,7 +56,7 @@
 }
 
 // declareProcessGone records that all runs of an entry process that started
-// before now have ended.
+// before the state's time have ended.
 func (s *State) declareProcessGone(index model.Version, c model.Change) model.Result {
 	if c.Process == "" {
 		return invalid("the change names no process")
@@ -102,31 +102,30 @@
 	return invalid(object + " does not exist")
 }
 
-// recordRemoval records the author of a removal. When there are more than
-// MaxRemoved removals, it drops all but the latest MaxRemoved/2, so that the cost
-// of sorting them is spread over many removals.
+// recordRemoval records the author of a removal. When Authors holds more than
+// MaxRemoved objects that no longer exist, it drops all of them but the latest
+// MaxRemoved/2, so that the cost of sorting them is spread over many removals.
 func (s *State) recordRemoval(object, author string, index model.Version) {
 	s.Authors[object] = Author{Name: author, Version: index}
 	over := len(s.Authors) - len(s.Contracts) - len(s.Instances) - len(s.Maintenance) - MaxRemoved
 	if over <= 0 {
 		return
 	}
-	gone := make([]string, 0, MaxRemoved+over)
+	removed := make([]string, 0, MaxRemoved+over)
 	for o := range s.Authors {
 		if !s.exists(o) {
-			gone = append(gone, o)
+			removed = append(removed, o)
 		}
 	}
-	slices.SortFunc(gone, func(a, b string) int {
+	slices.SortFunc(removed, func(a, b string) int {
 		return cmp.Or(cmp.Compare(s.Authors[a].Version, s.Authors[b].Version), cmp.Compare(a, b))
 	})
-	for _, o := range gone[:len(gone)-MaxRemoved/2] {
+	for _, o := range removed[:len(removed)-MaxRemoved/2] {
 		delete(s.Authors, o)
 	}
 }
 
-// exists reports whether an object exists; its name is a key of Authors, the kind of
-// object and its name separated by a space.
+// exists reports whether an object exists. object is a key of Authors.
 func (s *State) exists(object string) bool {
 	kind, name, _ := strings.Cut(object, " ")
 	var ok bool
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -23,8 +23,8 @@
 	return rapid.SampledFrom(from).Draw(t, label)
 }
 
-// near draws the base version of a change: mostly the current version.
-func near(t *rapid.T, current model.Version) model.Version {
+// anyBase draws the base version of a change: mostly the current version.
+func anyBase(t *rapid.T, current model.Version) model.Version {
 	return pick(t, "base", current, current, current, 0, current+1)
 }
 
@@ -40,10 +40,10 @@
 	switch c.Kind {
 	case model.ChangeContractApply, model.ChangeContractRemove:
 		c.Customer = model.Customer(name)
-		c.Base = near(t, s.Contracts[c.Customer].Version)
+		c.Base = anyBase(t, s.Contracts[c.Customer].Version)
 		c.Contract = model.Contract{Customer: c.Customer, Queue: rapid.IntRange(0, 2).Draw(t, "queue")}
 	case model.ChangeMaintenanceDeclare, model.ChangeMaintenanceCancel:
-		c.Base = near(t, s.Maintenance[name].Version)
+		c.Base = anyBase(t, s.Maintenance[name].Version)
 		c.Maintenance = model.Maintenance{Name: name}
 	case model.ChangeInstances:
 		for range rapid.IntRange(1, 2).Draw(t, "steps") {
@@ -69,7 +69,7 @@
 func anyStep(t *rapid.T, s *fleet.State) model.InstanceStep {
 	id := pick[model.InstanceID](t, "instance", "i1", "i2")
 	held := s.Instances[id]
-	return model.InstanceStep{Base: near(t, held.Version), Instance: model.Instance{
+	return model.InstanceStep{Base: anyBase(t, held.Version), Instance: model.Instance{
 		ID: id, Zone: "z", Pool: pick(t, "pool", "a", "b", held.Pool, held.Pool), Target: pick(t, "target", pools...),
 		Phase:     pick(t, "phase", append(phases, held.Phase, model.PhaseServing)...),
 		LostSince: pick[clock.Millis](t, "lost", 0, 0, 1),
@@ -133,9 +133,9 @@
 func TestReplicasStayEqual(t *testing.T) {
 	var wire codec.Codec
 	rapid.Check(t, func(t *rapid.T) {
-		s, twin := fleet.New(), fleet.New()
+		s, replica := fleet.New(), fleet.New()
 		reader := model.Table{}
-		first := map[model.RequestID]model.Result{}
+		firstResults := map[model.RequestID]model.Result{}
 		log := claimLog{holder: map[model.ClaimKey]string{}, closed: map[model.ClaimKey]bool{}}
 		for index := model.Version(1); index <= 40; index++ {
 			c := anyChange(t, s)
@@ -145,27 +145,27 @@
 			for _, o := range s.Outages {
 				assert.Assert(t, o.From <= o.To, "an outage of negative length: %+v", o)
 			}
-			if was, resent := first[c.Request]; resent && c.Request != "" {
-				assert.DeepEqual(t, r, was)
+			if firstResult, resent := firstResults[c.Request]; resent && c.Request != "" {
+				assert.DeepEqual(t, r, firstResult)
 				assert.DeepEqual(t, s.Table(), before)
 			} else {
-				first[c.Request] = r
+				firstResults[c.Request] = r
 				log.check(t, c, r)
 			}
 			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
-				restored, err := wire.DecodeState(wire.EncodeState(twin))
+				restored, err := wire.DecodeState(wire.EncodeState(replica))
 				assert.NilError(t, err)
-				twin = restored
+				replica = restored
 			}
-			assert.DeepEqual(t, twin.Apply(index, c), r)
+			assert.DeepEqual(t, replica.Apply(index, c), r)
 			if rapid.Bool().Draw(t, "read") {
-				assert.Assert(t, fleet.Merge(&reader, twin.Delta(reader.Version)))
+				assert.Assert(t, fleet.Merge(&reader, replica.Delta(reader.Version)))
 				want := s.Table()
 				assert.Equal(t, reader.Version, want.Version)
 				assert.Equal(t, fmt.Sprint(reader), fmt.Sprint(want))
 			}
 		}
-		assert.DeepEqual(t, wire.EncodeState(s), wire.EncodeState(twin))
+		assert.DeepEqual(t, wire.EncodeState(s), wire.EncodeState(replica))
 	})
 }
 
@@ -187,9 +187,9 @@
 	cancel := model.Change{Kind: model.ChangeMaintenanceCancel, Base: 1, Maintenance: model.Maintenance{Name: "m"}}
 	none := model.Change{}
 	cases := []struct {
-		name             string
-		made, one, other model.Change
-		differs          []string
+		name                 string
+		setup, winner, loser model.Change
+		differs              []string
 	}{
 		{"new contracts", none, apply(0, 1), apply(0, 2), []string{"queue"}},
 		{"contract updates", apply(0, 1), apply(1, 2), apply(1, 3), []string{"queue"}},
@@ -204,10 +204,10 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := fleet.New()
-			c.made.Author, c.one.Author, c.other.Author = "zoe", "ana", "rui"
-			assert.Equal(t, s.Apply(1, c.made).Kind, model.ResultApplied)
-			assert.Equal(t, s.Apply(2, c.one).Kind, model.ResultApplied)
-			r := s.Apply(3, c.other)
+			c.setup.Author, c.winner.Author, c.loser.Author = "zoe", "ana", "rui"
+			assert.Equal(t, s.Apply(1, c.setup).Kind, model.ResultApplied)
+			assert.Equal(t, s.Apply(2, c.winner).Kind, model.ResultApplied)
+			r := s.Apply(3, c.loser)
 			assert.Equal(t, r.Kind, model.ResultConflict, "%+v", r)
 			assert.Equal(t, r.Winner, "ana")
 			assert.Equal(t, r.Version, model.Version(2))
@@ -247,16 +247,16 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := fleet.New()
-			take := func(i model.Instance) model.Result {
+			apply := func(i model.Instance) model.Result {
 				return s.Apply(s.Index+1, model.Change{
 					Kind: model.ChangeInstances, Instances: []model.InstanceStep{{Base: s.Instances["i"].Version, Instance: i}},
 				})
 			}
 			for _, i := range c.steps {
-				assert.Equal(t, take(i).Kind, model.ResultApplied)
+				assert.Equal(t, apply(i).Kind, model.ResultApplied)
 			}
 			before := s.Table()
-			assert.Equal(t, take(c.next).Kind, model.ResultInvalid)
+			assert.Equal(t, apply(c.next).Kind, model.ResultInvalid)
 			assert.DeepEqual(t, s.Table(), before)
 		})
 	}
@@ -296,22 +296,22 @@
 	}
 	assert.Equal(t, retired, fleet.MaxRetired)
 	assert.Equal(t, len(s.TableChanges), fleet.MaxTableChanges)
-	late := model.Table{}
+	reader := model.Table{}
 	assert.Assert(t, s.Delta(1).Full, "a reader behind the recorded changes gets the whole table")
-	assert.Assert(t, fleet.Merge(&late, s.Delta(1)))
-	assert.Equal(t, len(late.Instances), len(s.Instances))
-	assert.Assert(t, !fleet.Merge(&late, model.Delta{To: 1, Full: true}), "the version of a table never decreases")
+	assert.Assert(t, fleet.Merge(&reader, s.Delta(1)))
+	assert.Equal(t, len(reader.Instances), len(s.Instances))
+	assert.Assert(t, !fleet.Merge(&reader, model.Delta{To: 1, Full: true}), "the version of a table never decreases")
 }
 
-// TestNewRunEndsEarlierRequests guards against a claim that stays running after its
-// process has died, and against a claim of the present incarnation that becomes
-// unknown.
-func TestNewRunEndsEarlierRequests(t *testing.T) {
+// TestNewIncarnationEndsEarlierClaims guards against a claim that stays running
+// after its process has died, and against a claim of the present incarnation that
+// becomes unknown.
+func TestNewIncarnationEndsEarlierClaims(t *testing.T) {
 	s := fleet.New()
 	key := func(k string) model.ClaimKey { return model.ClaimKey{Customer: "acme", Service: "merge", Key: k} }
-	claim := func(index model.Version, k string, run uint64) model.ClaimAnswer {
+	claim := func(index model.Version, k string, incarnation uint64) model.ClaimAnswer {
 		r := s.Apply(index, model.Change{
-			Kind: model.ChangeClaims, Process: "e1", Incarnation: run,
+			Kind: model.ChangeClaims, Process: "e1", Incarnation: incarnation,
 			Claims: []model.Claim{{Key: key(k), Token: "t" + k}},
 		})
 		return r.Claims[0]
@@ -323,5 +323,5 @@
 	assert.Equal(t, held.State, model.ClaimUnknown)
 	held, _ = s.Claims.Get(key("b"))
 	assert.Equal(t, held.State, model.ClaimRunning)
-	assert.Assert(t, !claim(4, "a", 10).Granted, "a request of an earlier run must not run again")
+	assert.Assert(t, !claim(4, "a", 10).Granted, "a request of an earlier incarnation must not run again")
 }
--- a/core/state/fleet/expiring_map.go
+++ b/core/state/fleet/expiring_map.go
@@ -40,8 +40,8 @@
 
 // Get returns the value of a key; ok is false if the map does not hold the key.
 func (m *ExpiringMap[K, V]) Get(k K) (v V, ok bool) {
-	r, ok := m.items[k]
-	return r.value, ok
+	entry, ok := m.items[k]
+	return entry.value, ok
 }
 
 // Put sets the value of a key, starts its lifetime at now, and drops expired
@@ -63,7 +63,7 @@
 	}
 	kept := make([]orderedKey[K], 0, len(m.items))
 	for _, o := range m.order {
-		if r, ok := m.items[o.key]; ok && r.id == o.id {
+		if entry, ok := m.items[o.key]; ok && entry.id == o.id {
 			kept = append(kept, o)
 		}
 	}
@@ -73,12 +73,12 @@
 // Update changes the value of a key without extending its lifetime. It does
 // nothing if the map does not hold the key.
 func (m *ExpiringMap[K, V]) Update(k K, v V) {
-	r, ok := m.items[k]
+	entry, ok := m.items[k]
 	if !ok {
 		return
 	}
-	r.value = v
-	m.items[k] = r
+	entry.value = v
+	m.items[k] = entry
 }
 
 // Remove deletes a key.
@@ -92,8 +92,8 @@
 func (m *ExpiringMap[K, V]) Expire(now clock.Millis) {
 	for len(m.order) > 0 {
 		first := m.order[0]
-		r, ok := m.items[first.key]
-		current := ok && r.id == first.id
+		entry, ok := m.items[first.key]
+		current := ok && entry.id == first.id
 		if current && len(m.items) <= m.Limit && first.time+m.Lifetime > now {
 			return
 		}
@@ -107,9 +107,9 @@
 // Each calls f for every key held, oldest first; t is the time of its Put.
 func (m *ExpiringMap[K, V]) Each(f func(k K, v V, t clock.Millis)) {
 	for _, o := range m.order {
-		r, ok := m.items[o.key]
-		if ok && r.id == o.id {
-			f(o.key, r.value, r.time)
+		entry, ok := m.items[o.key]
+		if ok && entry.id == o.id {
+			f(o.key, entry.value, entry.time)
 		}
 	}
 }
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -12,10 +12,10 @@
 	// changes. Operators' tools resend within minutes.
 	ResultLifetime = 24 * clock.Hour
 	MaxResults     = 10_000
-	// ClaimLifetime and MaxClaims bound the idempotency claims.
+	// ClaimLifetime and MaxClaims bound the idempotency claims. 100,000 claims take
+	// 27 MB, and a control process may use 128 MB.
 	ClaimLifetime = 24 * clock.Hour
-	// 100,000 claims take 27 MB, and a control instance may use 128 MB.
-	MaxClaims = 200_000
+	MaxClaims     = 200_000
 	// MaxOutages bounds the finished outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
@@ -65,8 +65,9 @@
 	// disruption budgets from them.
 	Outages []model.Outage
 	// Authors holds the author of the last change or removal of each object, to
-	// name the winner of a conflict. At most MaxRemoved of the objects no longer
-	// exist.
+	// name the winner of a conflict. A key is the kind of object, a space and the
+	// name of the object, for example "contract acme". At most MaxRemoved of the
+	// objects no longer exist.
 	Authors map[string]Author
 	// TableChanges lists the latest table changes in ascending order of version;
 	// at most MaxTableChanges.
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -36,8 +36,8 @@
 		if current.Version != step.Base {
 			return s.conflict("instance "+string(id), current.Version, nil)
 		}
-		if err := checkStep(current, step.Instance); err != "" {
-			return invalid(err)
+		if reason := checkStep(current, step.Instance); reason != "" {
+			return invalid(reason)
 		}
 	}
 	retired := false
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -10,6 +10,7 @@
 
 // The kinds of change.
 const (
+	// ChangeNone changes nothing but the index and time of the state.
 	ChangeNone ChangeKind = iota
 	ChangeContractApply
 	ChangeContractRemove
@@ -86,18 +87,23 @@
 
 // The states of a claim.
 const (
+	// ClaimRunning: the request may still be running.
 	ClaimRunning ClaimState = iota
+	// ClaimDone: a complete response was received and its HTTP status is known.
 	ClaimDone
+	// ClaimUnknown: the request may have run; its outcome is not known.
 	ClaimUnknown
 )
 
-// ClaimOutcome closes or releases a claim.
+// ClaimOutcome reports how a claimed request ended. It closes the claim, or releases
+// it if NotRun is set.
 type ClaimOutcome struct {
 	Key   ClaimKey
 	Token string
 	// NotRun releases the claim: the request did not run.
 	NotRun bool
 	State  ClaimState
+	// Status is the HTTP status of the response if State is ClaimDone.
 	Status int
 }
 
@@ -108,7 +114,8 @@
 	// FirstState is the state of the request that holds the key, if the claim was
 	// not granted.
 	FirstState ClaimState
-	Status     int
+	// Status is the HTTP status of that request if FirstState is ClaimDone.
+	Status int
 }
 
 // ResultKind is the kind of result of a change.
--- a/core/state/model/event.go
+++ b/core/state/model/event.go
@@ -5,7 +5,8 @@
 // Stamp is a hybrid logical clock timestamp that orders the events of all
 // processes. Every message carries one.
 type Stamp struct {
-	Wall  clock.Millis
+	Wall clock.Millis
+	// Count orders the stamps that have the same Wall.
 	Count uint32
 }
 
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -67,10 +67,10 @@
 	Covers FailureDomain
 	// Pools lists the promised capacity by pool; the names are unique.
 	Pools []PoolShare
-	// Concurrency is the number of requests in flight over all entry
-	// processes; 0 derives it from the instances' slots.
+	// Concurrency bounds the requests in flight over all entry processes together;
+	// 0 derives the bound from the slots of the promised instances.
 	Concurrency int
-	// Queue is the number of requests that may wait over all entry processes.
+	// Queue bounds the queued requests over all entry processes together.
 	Queue int
 	// RetryPercent bounds the retries, as a percentage of the first attempts.
 	RetryPercent int
