Reword admission control

The controller's receiver was g and a customer's state a, left over from older names; they are c and cs now. The quantile of the run times is called so instead of likely share, step and fall.

--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -44,18 +44,19 @@
 const (
 	// runTimeWeight is the weight of a new sample in the typical run time.
 	runTimeWeight = 0.1
-	// likelyShare is the quantile of the run times that a request must have left
-	// before its deadline when it starts. likelyStep is the step of the quantile
-	// estimate, as a part of the typical run time. With the mean instead of the
+	// A request is started only if the time left before its deadline is at least
+	// the runTimeQuantile quantile of the run times. With the mean instead of the
 	// quantile, half of the requests that started at the last moment missed their
 	// deadline, and a few long requests kept all short ones from being queued.
-	likelyShare = 0.85
-	likelyStep  = 0.05
-	// likelyFall is the smallest step down, as a part of the distance between the
-	// estimate and the typical run time.
-	likelyFall = 0.2
-	// waitMargin is added to the estimated wait, as a part of it, because the
-	// estimate leaves out the time between two requests on a slot.
+	// quantileStep is the step of the quantile estimate, as a fraction of the
+	// typical run time.
+	runTimeQuantile = 0.85
+	quantileStep    = 0.05
+	// quantileFall is the smallest step down, as a fraction of the distance between
+	// the estimate and the typical run time.
+	quantileFall = 0.2
+	// waitMargin is the fraction by which the estimated wait is increased, because
+	// the estimate leaves out the time between two requests on a slot.
 	waitMargin = 0.125
 )
 
@@ -66,7 +67,7 @@
 	customers   map[model.Customer]*CustomerState[R]
 	pools       map[model.Pool]*poolQueues[R]
 	lastArrival uint64
-	// candidateInfos and candidates are scratch space for one choice.
+	// candidateInfos and candidates are reused by the calls of Next.
 	candidateInfos []*QueueInfo
 	candidates     []*Queue[R]
 }
@@ -98,32 +99,32 @@
 	virtualTime float64
 	// typicalRunTime is the smoothed run time in milliseconds; 0 without a sample.
 	typicalRunTime float64
-	// likelyRunTime estimates the likelyShare quantile of the run times, in
+	// highRunTime estimates the runTimeQuantile quantile of the run times, in
 	// milliseconds.
-	likelyRunTime float64
+	highRunTime float64
 }
 
 // timeNeeded returns the time that a request must have left before its deadline
 // when it starts.
-func (pq *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(pq.likelyRunTime)) }
+func (pq *poolQueues[R]) timeNeeded() clock.Millis { return clock.Millis(math.Ceil(pq.highRunTime)) }
 
 // addRunTime updates the estimates with the run time of a request, in
 // milliseconds.
 func (pq *poolQueues[R]) addRunTime(elapsed float64) {
 	if pq.typicalRunTime == 0 {
-		pq.typicalRunTime, pq.likelyRunTime = elapsed, elapsed
+		pq.typicalRunTime, pq.highRunTime = elapsed, elapsed
 		return
 	}
 	pq.typicalRunTime += runTimeWeight * (elapsed - pq.typicalRunTime)
-	step := likelyStep * pq.typicalRunTime
-	if elapsed < pq.likelyRunTime {
+	step := quantileStep * pq.typicalRunTime
+	if elapsed < pq.highRunTime {
 		// Far above the typical run time the estimate falls geometrically.
 		// Otherwise one long request would distort it for thousands of others.
-		step = max(step, (pq.likelyRunTime-pq.typicalRunTime)*likelyFall)
-		pq.likelyRunTime = max(pq.likelyRunTime-step*(1-likelyShare), 0)
+		step = max(step, (pq.highRunTime-pq.typicalRunTime)*quantileFall)
+		pq.highRunTime = max(pq.highRunTime-step*(1-runTimeQuantile), 0)
 		return
 	}
-	pq.likelyRunTime += step * likelyShare
+	pq.highRunTime += step * runTimeQuantile
 }
 
 // New returns a controller without customers.
@@ -138,99 +139,99 @@
 // SetCustomer sets this process's share of a customer's limits. It removes the
 // queues of pools that the contract no longer covers and returns the references
 // of their waiters.
-func (g *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
-	a := g.customers[name]
-	if a == nil {
-		a = &CustomerState[R]{Name: name, queues: map[model.Pool]*Queue[R]{}}
+func (c *Controller[P, R]) SetCustomer(name model.Customer, share Limit, pools []model.PoolShare) []R {
+	cs := c.customers[name]
+	if cs == nil {
+		cs = &CustomerState[R]{Name: name, queues: map[model.Pool]*Queue[R]{}}
 		if share.RetryPercent > 0 {
-			a.RetryTokens = 1
+			cs.RetryTokens = 1
 		}
-		g.customers[name] = a
+		c.customers[name] = cs
 	}
 	share.Weight = max(share.Weight, 1)
-	a.Limit = share
-	a.removed = false
+	cs.Limit = share
+	cs.removed = false
 	covered := make(map[model.Pool]bool, len(pools))
 	for _, p := range pools {
 		covered[p.Pool] = true
-		if a.queues[p.Pool] == nil {
-			a.queues[p.Pool] = &Queue[R]{Customer: a, Pool: p.Pool, poolQueues: g.poolQueues(p.Pool)}
+		if cs.queues[p.Pool] == nil {
+			cs.queues[p.Pool] = &Queue[R]{Customer: cs, Pool: p.Pool, poolQueues: c.poolQueues(p.Pool)}
 		}
-		a.queues[p.Pool].info.Weight = share.Weight
+		cs.queues[p.Pool].info.Weight = share.Weight
 	}
 	var out []R
-	for p, q := range a.queues {
+	for p, q := range cs.queues {
 		if !covered[p] {
 			out = q.clear(out)
-			delete(a.queues, p)
+			delete(cs.queues, p)
 		}
 	}
 	return out
 }
 
 // RemoveCustomer removes a customer and returns the references of its waiters.
-func (g *Controller[P, R]) RemoveCustomer(name model.Customer) []R {
-	a := g.customers[name]
-	if a == nil {
+func (c *Controller[P, R]) RemoveCustomer(name model.Customer) []R {
+	cs := c.customers[name]
+	if cs == nil {
 		return nil
 	}
 	var out []R
-	for _, q := range a.queues {
+	for _, q := range cs.queues {
 		out = q.clear(out)
 	}
-	a.removed = true
-	g.dropUnused(a)
+	cs.removed = true
+	c.dropUnused(cs)
 	return out
 }
 
 // dropUnused drops the state of a customer whose contract was removed and that
 // has no requests in flight.
-func (g *Controller[P, R]) dropUnused(a *CustomerState[R]) {
-	if a.removed && a.Running == 0 {
-		delete(g.customers, a.Name)
+func (c *Controller[P, R]) dropUnused(cs *CustomerState[R]) {
+	if cs.removed && cs.Running == 0 {
+		delete(c.customers, cs.Name)
 	}
 }
 
-func (g *Controller[P, R]) poolQueues(p model.Pool) *poolQueues[R] {
-	pq := g.pools[p]
+func (c *Controller[P, R]) poolQueues(p model.Pool) *poolQueues[R] {
+	pq := c.pools[p]
 	if pq == nil {
 		pq = &poolQueues[R]{}
-		g.pools[p] = pq
+		c.pools[p] = pq
 	}
 	return pq
 }
 
 // Queue returns the queue of a customer in a pool, or the reason why requests of
 // the customer cannot run in this process.
-func (g *Controller[P, R]) Queue(c model.Customer, p model.Pool) (*Queue[R], Reason) {
-	a := g.customers[c]
-	if a == nil || a.removed {
+func (c *Controller[P, R]) Queue(name model.Customer, p model.Pool) (*Queue[R], Reason) {
+	cs := c.customers[name]
+	if cs == nil || cs.removed {
 		return nil, ReasonContract
 	}
-	q := a.queues[p]
+	q := cs.queues[p]
 	if q == nil {
 		return nil, ReasonPool
 	}
-	if a.Limit.MaxInFlight == 0 {
+	if cs.Limit.MaxInFlight == 0 {
 		return nil, ReasonShare
 	}
 	return q, ReasonNone
 }
 
 // Customer returns the state of a customer; nil if the customer is unknown.
-func (g *Controller[P, R]) Customer(c model.Customer) *CustomerState[R] { return g.customers[c] }
+func (c *Controller[P, R]) Customer(name model.Customer) *CustomerState[R] { return c.customers[name] }
 
 // EachCustomer calls f for every customer.
-func (g *Controller[P, R]) EachCustomer(f func(*CustomerState[R])) {
-	for _, a := range g.customers {
-		f(a)
+func (c *Controller[P, R]) EachCustomer(f func(*CustomerState[R])) {
+	for _, cs := range c.customers {
+		f(cs)
 	}
 }
 
 // EachWaiting calls f for every pool in which the customer has queued requests,
 // with their number.
-func (a *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
-	for p, q := range a.queues {
+func (cs *CustomerState[R]) EachWaiting(f func(p model.Pool, n int)) {
+	for p, q := range cs.queues {
 		if q.length > 0 {
 			f(p, q.length)
 		}
@@ -238,24 +239,24 @@
 }
 
 // Start counts a request that starts without having been queued.
-func (g *Controller[P, R]) Start(q *Queue[R]) {
+func (c *Controller[P, R]) Start(q *Queue[R]) {
 	q.Customer.Running++
 	q.advanceVirtualTime()
 }
 
 // End counts the end of a request. Its run time updates the estimates of the pool
 // unless it is negative.
-func (g *Controller[P, R]) End(q *Queue[R], elapsed clock.Millis) {
+func (c *Controller[P, R]) End(q *Queue[R], elapsed clock.Millis) {
 	q.Customer.Running--
-	g.dropUnused(q.Customer)
+	c.dropUnused(q.Customer)
 	if elapsed >= 0 {
 		q.poolQueues.addRunTime(float64(elapsed))
 	}
 }
 
 // TypicalRunTime returns the smoothed run time of a pool; 0 if it is unknown.
-func (g *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
-	if pq := g.pools[p]; pq != nil {
+func (c *Controller[P, R]) TypicalRunTime(p model.Pool) clock.Millis {
+	if pq := c.pools[p]; pq != nil {
 		return clock.Millis(pq.typicalRunTime)
 	}
 	return 0
@@ -263,8 +264,8 @@
 
 // Enqueue queues a request. slots is the number of requests that the pool can run
 // at once. The request is refused if the customer's queue is full, or if it is
-// not expected to end before the deadline after its wait and run time.
-func (g *Controller[P, R]) Enqueue(now, deadline clock.Millis, q *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
+// not expected to end before its deadline, given its estimated wait and run time.
+func (c *Controller[P, R]) Enqueue(now, deadline clock.Millis, q *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
 	if q.Customer.Waiting >= q.Customer.Limit.MaxQueued {
 		return nil, ReasonQueue
 	}
@@ -273,16 +274,16 @@
 	if now+wait+q.poolQueues.timeNeeded() >= deadline {
 		return nil, ReasonDeadline
 	}
-	g.lastArrival++
-	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, arrival: g.lastArrival}
+	c.lastArrival++
+	w := &Waiter[R]{Ref: ref, Deadline: deadline, Arrived: now, arrival: c.lastArrival}
 	q.push(w)
 	return w, ReasonNone
 }
 
-// HasRunnable reports whether a pool has a waiter whose customer is below its
-// share.
-func (g *Controller[P, R]) HasRunnable(p model.Pool) bool {
-	pq := g.pools[p]
+// HasRunnable reports whether a pool has a waiter whose customer is below its share
+// of the requests in flight.
+func (c *Controller[P, R]) HasRunnable(p model.Pool) bool {
+	pq := c.pools[p]
 	if pq == nil {
 		return false
 	}
@@ -296,8 +297,8 @@
 
 // RunnableCount returns the number of waiters of a pool that the shares of their
 // customers allow to run now.
-func (g *Controller[P, R]) RunnableCount(p model.Pool) int {
-	pq := g.pools[p]
+func (c *Controller[P, R]) RunnableCount(p model.Pool) int {
+	pq := c.pools[p]
 	if pq == nil {
 		return 0
 	}
@@ -311,23 +312,23 @@
 // Next removes the waiter that runs next from the queues of a pool and counts it
 // as running; nil if none may run. Waiters at the head of a queue that can no
 // longer end before their deadline are removed and appended to late.
-func (g *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
-	pq := g.pools[p]
+func (c *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
+	pq := c.pools[p]
 	if pq == nil {
 		return nil, late
 	}
 	late = pq.dropUnfinishable(now+pq.timeNeeded(), late)
-	g.candidateInfos, g.candidates = g.candidateInfos[:0], g.candidates[:0]
+	c.candidateInfos, c.candidates = c.candidateInfos[:0], c.candidates[:0]
 	for _, q := range pq.active {
 		if q.CanRun() {
-			g.candidateInfos = append(g.candidateInfos, &q.info)
-			g.candidates = append(g.candidates, q)
+			c.candidateInfos = append(c.candidateInfos, &q.info)
+			c.candidates = append(c.candidates, q)
 		}
 	}
-	if len(g.candidates) == 0 {
+	if len(c.candidates) == 0 {
 		return nil, late
 	}
-	q := g.candidates[g.picker.Pick(g.candidateInfos)]
+	q := c.candidates[c.picker.Pick(c.candidateInfos)]
 	w := q.first
 	q.remove(w)
 	q.Customer.Running++
@@ -336,8 +337,8 @@
 }
 
 // Expire removes the waiters whose deadline has passed and appends them to late.
-func (g *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
-	for _, pq := range g.pools {
+func (c *Controller[P, R]) Expire(now clock.Millis, late []R) []R {
+	for _, pq := range c.pools {
 		for i := len(pq.active) - 1; i >= 0; i-- {
 			late = pq.active[i].expire(now, late)
 		}
@@ -346,8 +347,8 @@
 }
 
 // Clear removes all waiters of a pool and appends them to out.
-func (g *Controller[P, R]) Clear(p model.Pool, out []R) []R {
-	pq := g.pools[p]
+func (c *Controller[P, R]) Clear(p model.Pool, out []R) []R {
+	pq := c.pools[p]
 	if pq == nil {
 		return out
 	}
@@ -358,8 +359,8 @@
 }
 
 // WaitingPools appends the pools that have waiters to buf.
-func (g *Controller[P, R]) WaitingPools(buf []model.Pool) []model.Pool {
-	for p, pq := range g.pools {
+func (c *Controller[P, R]) WaitingPools(buf []model.Pool) []model.Pool {
+	for p, pq := range c.pools {
 		if len(pq.active) > 0 {
 			buf = append(buf, p)
 		}
--- a/core/state/admit/limit.go
+++ b/core/state/admit/limit.go
@@ -6,8 +6,8 @@
 // in the table. The upstreams of both users have 8.
 const DefaultSlots = 8
 
-// Limit is the limit of a customer over all entry processes or, after Divide, the
-// share of one entry process.
+// Limit holds the limits of a customer over all entry processes or, after Divide,
+// the share of one entry process.
 type Limit struct {
 	// MaxInFlight bounds the requests that run at once.
 	MaxInFlight int
--- a/core/state/admit/queue.go
+++ b/core/state/admit/queue.go
@@ -20,6 +20,7 @@
 
 // Waiter is a queued request.
 type Waiter[R any] struct {
+	// Ref is the caller's reference to the request.
 	Ref      R
 	Deadline clock.Millis
 	Arrived  clock.Millis
@@ -39,10 +40,10 @@
 // Len returns the number of waiters.
 func (q *Queue[R]) Len() int { return q.length }
 
-// EstimateWait estimates how long a new waiter of the queue waits if the pool runs
-// slots requests at once; 0 while the run time is unknown. The estimate divides the
-// rate of the pool between the waiting customers by weight, and bounds the rate of
-// a customer by its share.
+// EstimateWait estimates how long a new waiter of the queue waits if the pool can
+// run slots requests at once; 0 while the run time is unknown. The estimate divides
+// the slots between the waiting customers by weight, and bounds the slots of a
+// customer by its share.
 func (q *Queue[R]) EstimateWait(slots int) clock.Millis {
 	if q.poolQueues.typicalRunTime == 0 || slots <= 0 {
 		return 0
@@ -58,7 +59,7 @@
 	return clock.Millis(float64(q.length+1) * q.poolQueues.typicalRunTime / rate)
 }
 
-// Remove removes a waiter whose request was given up.
+// Remove removes a waiter whose request was cancelled.
 func (q *Queue[R]) Remove(w *Waiter[R]) { q.remove(w) }
 
 func (q *Queue[R]) push(w *Waiter[R]) {
--- a/core/state/admit/retry.go
+++ b/core/state/admit/retry.go
@@ -6,16 +6,16 @@
 
 // AddRetryCredit adds the retry credit that a first attempt earns: RetryPercent
 // hundredths of a token.
-func (a *CustomerState[R]) AddRetryCredit() {
-	a.RetryTokens = min(a.RetryTokens+float64(a.Limit.RetryPercent)/100, retryBurst)
+func (cs *CustomerState[R]) AddRetryCredit() {
+	cs.RetryTokens = min(cs.RetryTokens+float64(cs.Limit.RetryPercent)/100, retryBurst)
 }
 
 // TakeRetry takes one token from the retry budget. It returns false if the budget
 // is spent.
-func (a *CustomerState[R]) TakeRetry() bool {
-	if a.Limit.RetryPercent <= 0 || a.RetryTokens < 1 {
+func (cs *CustomerState[R]) TakeRetry() bool {
+	if cs.Limit.RetryPercent <= 0 || cs.RetryTokens < 1 {
 		return false
 	}
-	a.RetryTokens--
+	cs.RetryTokens--
 	return true
 }
