Reword the router

Upstream had the fields Instance and instance; the latter is the table entry and is called so. The parameter held is previousVersion, forgiveAfter is ejectResetAfter.

--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -22,9 +22,9 @@
 	// ejectMax.
 	ejectBase = clock.Second
 	ejectMax  = 30 * clock.Second
-	// forgiveAfter is the time after the end of an ejection after which a success
+	// ejectResetAfter is the time after the end of an ejection after which a success
 	// resets the duration of the next one to ejectBase.
-	forgiveAfter = 60 * clock.Second
+	ejectResetAfter = 60 * clock.Second
 	// scoreAfterEjection is the score after an ejection. From it, one failed
 	// connection or three failures in a row eject the upstream again.
 	scoreAfterEjection = 0.25
@@ -41,7 +41,7 @@
 		return false
 	case OutcomeOK:
 		u.Score -= failWeight * u.Score
-		if now-u.EjectedUntil > forgiveAfter {
+		if now-u.EjectedUntil > ejectResetAfter {
 			u.ConsecutiveEjections = 0
 		}
 		return false
@@ -56,8 +56,9 @@
 	return r.eject(now, u)
 }
 
-// eject ejects an upstream, unless its peers fail as well or less than half of
-// the pool's upstreams would stay in service. It reports whether it ejected it.
+// eject ejects an upstream, unless its peers fail as well or fewer than half of the
+// pool's upstreams would stay in service. It reports whether the upstream was
+// ejected.
 func (r *Router[P]) eject(now clock.Millis, u *Upstream) bool {
 	pu := r.upstreamsByPool[u.Pool]
 	inService, peers := 0, 0.0
--- a/core/state/route/policy.go
+++ b/core/state/route/policy.go
@@ -14,7 +14,7 @@
 	Choose(candidates []Candidate, turn uint64) int
 }
 
-// LeastLoaded chooses the candidate with the smallest used part of its capacity.
+// LeastLoaded chooses the candidate that uses the smallest fraction of its capacity.
 // Among equally loaded candidates the first one rotates, so that several entry
 // processes do not all choose the same upstream first.
 type LeastLoaded struct{}
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -19,8 +19,8 @@
 	return model.Announcement{Instance: id, Zone: "z", Pool: "p", Address: string(id), Slots: 8, Connections: 64, Incarnation: incarnation}
 }
 
-// pool returns a router with n upstreams that are past their slow start.
-func pool[P Policy](policy P, n int) *Router[P] {
+// newWarmRouter returns a router with n upstreams that are past their slow start.
+func newWarmRouter[P Policy](policy P, n int) *Router[P] {
 	r := New(Settings{Zone: "z", Rank: 0, Count: 1}, policy)
 	for i := range n {
 		id := model.InstanceID(fmt.Sprint("i", i))
@@ -30,6 +30,7 @@
 	return r
 }
 
+// start is a time at which the upstreams of newWarmRouter are past their slow start.
 const start = 10 * clock.Second
 
 // TestSharesOfSlotsAddUp guards against entry processes that together use more
@@ -46,12 +47,12 @@
 			r.SetInstance(0, i, 0)
 			r.SetAnnouncement(0, a, true)
 			for {
-				h, ok := r.Reserve(start, "p", "")
+				res, ok := r.Reserve(start, "p", "")
 				if !ok {
 					break
 				}
 				granted++
-				assert.Assert(t, h.Upstream.Running <= h.Upstream.Connections)
+				assert.Assert(t, res.Upstream.Running <= res.Upstream.Connections)
 			}
 			connections += r.upstreams["i"].Connections
 		}
@@ -75,7 +76,7 @@
 		"other zone":     func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Zone = "y" },
 		"announced zone": func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Zone = "y" },
 	} {
-		r := pool(LeastLoaded{}, 1)
+		r := newWarmRouter(LeastLoaded{}, 1)
 		i, a, live := entryOf("i0", 2), announced("i0", 1), true
 		_, ok := r.Reserve(start, "p", "")
 		assert.Assert(t, ok)
@@ -97,7 +98,7 @@
 // request still runs on the instance, and against never confirming it.
 func TestDrainedFollowsRequestsInFlight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := pool(LeastLoaded{}, 3)
+		r := newWarmRouter(LeastLoaded{}, 3)
 		type request struct {
 			reservation Reservation
 			// maxDrained is the highest version that may be confirmed while the
@@ -106,13 +107,13 @@
 		}
 		var requests []*request
 		phase := map[model.InstanceID]model.Phase{}
-		v, routableEarly := model.Version(1), false
+		v, routableTooEarly := model.Version(1), false
 		r.Version = v
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(*rapid.T) {
-				if h, ok := r.Reserve(start, "p", ""); ok {
-					assert.Equal(t, phase[h.Upstream.Instance], model.PhaseServing)
-					requests = append(requests, &request{reservation: h, maxDrained: 1 << 40})
+				if res, ok := r.Reserve(start, "p", ""); ok {
+					assert.Equal(t, phase[res.Upstream.Instance], model.PhaseServing)
+					requests = append(requests, &request{reservation: res, maxDrained: 1 << 40})
 				}
 			},
 			"end": func(t *rapid.T) {
@@ -149,9 +150,10 @@
 					}
 				}
 				if i.Phase == model.PhaseServing && phase[id] != model.PhaseServing {
-					// The control group would wait for the confirmation first. Here
-					// the result may be lower than necessary.
-					routableEarly = true
+					// The control group waits for the confirmation before it makes an
+					// instance routable again. Without it, DrainedVersion may be lower
+					// than necessary.
+					routableTooEarly = true
 				}
 				phase[id] = i.Phase
 				if i.Phase != model.PhaseRetired {
@@ -168,7 +170,7 @@
 					}
 				}
 				assert.Assert(t, r.DrainedVersion() <= want, "%d was confirmed, %d is the most", r.DrainedVersion(), want)
-				if old == 0 || !routableEarly {
+				if old == 0 || !routableTooEarly {
 					assert.Equal(t, r.DrainedVersion(), want)
 				}
 			},
@@ -181,7 +183,7 @@
 func TestEjectionKeepsHalfOfThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 7).Draw(t, "upstreams")
-		r := pool(LeastLoaded{}, n)
+		r := newWarmRouter(LeastLoaded{}, n)
 		now := start
 		live := map[int]bool{}
 		for i := range n {
@@ -189,9 +191,9 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"request": func(t *rapid.T) {
-				h, ok := r.Reserve(now, "p", "")
+				res, ok := r.Reserve(now, "p", "")
 				assert.Assert(t, ok)
-				r.End(now, h, Outcome(rapid.IntRange(0, 6).Draw(t, "outcome")))
+				r.End(now, res, Outcome(rapid.IntRange(0, 6).Draw(t, "outcome")))
 			},
 			"member": func(t *rapid.T) {
 				i := rapid.IntRange(0, n-1).Draw(t, "upstream")
@@ -229,17 +231,17 @@
 // ejections for a fault that all upstreams share.
 func TestFailingUpstreamIsEjected(t *testing.T) {
 	for _, o := range []Outcome{OutcomeError, OutcomeUnknown, OutcomeTimeout, OutcomeConnect} {
-		r := pool(LeastLoaded{}, 4)
+		r := newWarmRouter(LeastLoaded{}, 4)
 		failed := 0
 		for range 400 {
-			h, ok := r.Reserve(start, "p", "")
+			res, ok := r.Reserve(start, "p", "")
 			assert.Assert(t, ok)
-			if h.Upstream.Instance == "i2" {
+			if res.Upstream.Instance == "i2" {
 				failed++
-				r.End(start, h, o)
+				r.End(start, res, o)
 				continue
 			}
-			r.End(start, h, OutcomeOK)
+			r.End(start, res, OutcomeOK)
 		}
 		assert.Assert(t, failed <= 4, "%d requests went to the failing upstream", failed)
 		assert.Equal(t, r.Capacity(start, "p"), 24)
@@ -251,17 +253,17 @@
 		assert.Equal(t, r.Capacity(back, "p"), 25)
 		assert.Equal(t, r.Capacity(back+SlowStart, "p"), 32)
 
-		r = pool(LeastLoaded{}, 4)
+		r = newWarmRouter(LeastLoaded{}, 4)
 		ejected := 0
 		for range 400 {
-			h, _ := r.Reserve(start, "p", "")
-			if r.End(start, h, o) {
+			res, _ := r.Reserve(start, "p", "")
+			if r.End(start, res, o) {
 				ejected++
 			}
 		}
 		want := 0
 		if o == OutcomeConnect {
-			want = 1 // The first failed connection says nothing of the others.
+			want = 1 // One failed connection ejects an upstream whose peers have not failed yet.
 		}
 		assert.Equal(t, ejected, want, "ejections for a fault that all share")
 	}
@@ -270,18 +272,18 @@
 // TestOutcomeOfEarlierProcessIsIgnored guards against counting the outcome of a
 // request to an earlier process of an upstream against the present process.
 func TestOutcomeOfEarlierProcessIsIgnored(t *testing.T) {
-	r := pool(LeastLoaded{}, 2)
-	h, _ := r.Reserve(start, "p", "i0")
-	r.SetAnnouncement(start, announced(h.Upstream.Instance, 2), true)
-	assert.Assert(t, !r.End(start, h, OutcomeConnect))
-	assert.Equal(t, h.Upstream.Score, 0.0)
-	assert.Equal(t, h.Upstream.Running, 0)
+	r := newWarmRouter(LeastLoaded{}, 2)
+	res, _ := r.Reserve(start, "p", "i0")
+	r.SetAnnouncement(start, announced(res.Upstream.Instance, 2), true)
+	assert.Assert(t, !r.End(start, res, OutcomeConnect))
+	assert.Equal(t, res.Upstream.Score, 0.0)
+	assert.Equal(t, res.Upstream.Running, 0)
 }
 
 // TestSlowStart guards against a new upstream that gets its full share at once, and
 // against a slow start of all upstreams when the router itself has just started.
 func TestSlowStart(t *testing.T) {
-	r := pool(LeastLoaded{}, 2)
+	r := newWarmRouter(LeastLoaded{}, 2)
 	assert.Equal(t, r.Capacity(0, "p"), 16)
 	r.SetInstance(start, entryOf("new", 2), 1)
 	r.SetAnnouncement(start, announced("new", 1), true)
@@ -293,24 +295,25 @@
 // TestLeastLoadedEvensOut guards against a choice that ignores the load, as the
 // round-robin baseline does.
 func TestLeastLoadedEvensOut(t *testing.T) {
-	uneven := func(pick func() (Reservation, bool), end func(Reservation)) int {
-		// Requests on i0 never end; all others end at once.
-		stuck := 0
+	// requestsOnStuckUpstream returns how many of 100 requests i0 gets if its
+	// requests never end and all others end at once.
+	requestsOnStuckUpstream := func(pick func() (Reservation, bool), end func(Reservation)) int {
+		n := 0
 		for range 100 {
-			h, ok := pick()
-			if ok && h.Upstream.Instance == "i0" {
-				stuck++
+			res, ok := pick()
+			if ok && res.Upstream.Instance == "i0" {
+				n++
 			} else if ok {
-				end(h)
+				end(res)
 			}
 		}
-		return stuck
+		return n
 	}
-	a, b := pool(LeastLoaded{}, 3), pool(&RoundRobin{}, 3)
-	least := uneven(func() (Reservation, bool) { return a.Reserve(start, "p", "") }, func(h Reservation) { a.End(start, h, OutcomeOK) })
-	turns := uneven(func() (Reservation, bool) { return b.Reserve(start, "p", "") }, func(h Reservation) { b.End(start, h, OutcomeOK) })
-	assert.Equal(t, least, 1)
-	assert.Equal(t, turns, 8)
-	h, ok := a.Reserve(start, "p", "i1")
-	assert.Assert(t, ok && h.Upstream.Instance == "i2")
+	a, b := newWarmRouter(LeastLoaded{}, 3), newWarmRouter(&RoundRobin{}, 3)
+	leastLoaded := requestsOnStuckUpstream(func() (Reservation, bool) { return a.Reserve(start, "p", "") }, func(res Reservation) { a.End(start, res, OutcomeOK) })
+	roundRobin := requestsOnStuckUpstream(func() (Reservation, bool) { return b.Reserve(start, "p", "") }, func(res Reservation) { b.End(start, res, OutcomeOK) })
+	assert.Equal(t, leastLoaded, 1)
+	assert.Equal(t, roundRobin, 8)
+	res, ok := a.Reserve(start, "p", "i1")
+	assert.Assert(t, ok && res.Upstream.Instance == "i2")
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -47,6 +47,7 @@
 // poolUpstreams holds the routable upstreams of one pool, ejected ones included.
 type poolUpstreams struct {
 	members []*Upstream
+	// choices is the number of choices that the policy has made.
 	choices uint64
 }
 
@@ -63,8 +64,8 @@
 
 // SetInstance adds the table entry of an instance or replaces it. Instances of
 // other zones are ignored, unless an entry or announcement of the instance is
-// known already. held is the version of the table before the change.
-func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, held model.Version) {
+// known already. previousVersion is the version of the table before the change.
+func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, previousVersion model.Version) {
 	u := r.upstreams[i.ID]
 	if i.Zone != r.cfg.Zone {
 		if u == nil {
@@ -72,30 +73,30 @@
 		}
 	}
 	u = r.upstream(i.ID)
-	if u.inTable && u.instance.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.instance.Pool) {
-		// If the releasing phase was skipped over, the release took place at an
-		// unknown version after held.
-		released := held + 1
+	if u.inTable && u.tableEntry.Phase == model.PhaseServing && (i.Phase != model.PhaseServing || i.Pool != u.tableEntry.Pool) {
+		// If the change skips the releasing phase, the release took place at an
+		// unknown version above previousVersion; the lowest one is assumed.
+		released := previousVersion + 1
 		if i.Phase == model.PhaseReleasing {
 			released = i.Version
 		}
 		r.release(u, released)
 	}
-	u.instance, u.inTable = i, true
+	u.tableEntry, u.inTable = i, true
 	r.update(now, u)
 }
 
-// RemoveInstance removes the table entry of an instance. held is the version of
-// the table before the change.
-func (r *Router[P]) RemoveInstance(now clock.Millis, id model.InstanceID, held model.Version) {
+// RemoveInstance removes the table entry of an instance. previousVersion is the
+// version of the table before the change.
+func (r *Router[P]) RemoveInstance(now clock.Millis, id model.InstanceID, previousVersion model.Version) {
 	u := r.upstreams[id]
 	if u == nil {
 		return
 	}
-	if u.inTable && u.instance.Phase == model.PhaseServing {
-		r.release(u, held+1)
+	if u.inTable && u.tableEntry.Phase == model.PhaseServing {
+		r.release(u, previousVersion+1)
 	}
-	u.instance, u.inTable = model.Instance{}, false
+	u.tableEntry, u.inTable = model.Instance{}, false
 	r.update(now, u)
 }
 
@@ -120,8 +121,8 @@
 	return u
 }
 
-// release starts a new generation for a release at version v. The requests in
-// flight and lent slots block its confirmation.
+// release starts a new generation for a release at version v. Requests in flight
+// and lent slots block the confirmation of the release.
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
 	u.OldRunning = u.Running
@@ -159,11 +160,11 @@
 // table and the announcement limit them; 0 in the table means unknown.
 func (r *Router[P]) shares(u *Upstream) (slots, conns int) {
 	slots, conns = u.announcement.Slots, u.announcement.Connections
-	if u.instance.Slots > 0 {
-		slots = min(slots, u.instance.Slots)
+	if u.tableEntry.Slots > 0 {
+		slots = min(slots, u.tableEntry.Slots)
 	}
-	if u.instance.Connections > 0 {
-		conns = min(conns, u.instance.Connections)
+	if u.tableEntry.Connections > 0 {
+		conns = min(conns, u.tableEntry.Connections)
 	}
 	conns = admit.Share(conns, r.cfg.Rank, r.cfg.Count)
 	return min(admit.Share(slots, r.cfg.Rank, r.cfg.Count), conns), conns
@@ -209,7 +210,7 @@
 }
 
 // Reserve reserves a slot of an upstream of the pool; ok is false if none has free
-// capacity. The upstream to avoid is chosen only if no other has free capacity.
+// capacity. The upstream avoid is chosen only if no other has free capacity.
 func (r *Router[P]) Reserve(now clock.Millis, p model.Pool, avoid model.InstanceID) (res Reservation, ok bool) {
 	pu := r.upstreamsByPool[p]
 	if pu == nil || len(pu.members) == 0 {
@@ -335,8 +336,8 @@
 	return ejected
 }
 
-// unblock lets a release be confirmed once no earlier request and no loan uses the
-// instance.
+// unblock allows the blocked release of an upstream to be confirmed once no request
+// of an earlier generation and no loan uses the instance.
 func (r *Router[P]) unblock(u *Upstream) {
 	if u.OldRunning == 0 && u.Lent == 0 {
 		u.BlockedRelease = 0
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -57,7 +57,7 @@
 	// generations.
 	OldRunning int
 	// BlockedRelease is the table version of the earliest release that cannot be
-	// confirmed yet because of OldRunning or Lent; 0 if both are 0.
+	// confirmed yet because OldRunning or Lent is above 0; 0 if both are 0.
 	BlockedRelease model.Version
 	// RoutableSince is the time from which slow start is counted: when the upstream
 	// became routable, when its process restarted, or when its last ejection ends.
@@ -73,9 +73,9 @@
 	ScoreResetPending bool
 	// ConsecutiveEjections determines the duration of the next ejection.
 	ConsecutiveEjections int
-	// instance, inTable, announcement and leaseHeld are the inputs of
+	// tableEntry, inTable, announcement and leaseHeld are the inputs of
 	// routablePool.
-	instance     model.Instance
+	tableEntry   model.Instance
 	inTable      bool
 	announcement model.Announcement
 	leaseHeld    bool
@@ -89,11 +89,11 @@
 // pool, and the lease must not have expired.
 func (u *Upstream) routablePool(zone model.Zone) model.Pool {
 	ok := u.inTable && u.leaseHeld &&
-		u.instance.Phase == model.PhaseServing && u.instance.Zone == zone &&
+		u.tableEntry.Phase == model.PhaseServing && u.tableEntry.Zone == zone &&
 		u.announcement.State == model.AnnounceServing && u.announcement.Zone == zone &&
-		u.announcement.Pool == u.instance.Pool
+		u.announcement.Pool == u.tableEntry.Pool
 	if !ok {
 		return ""
 	}
-	return u.instance.Pool
+	return u.tableEntry.Pool
 }
