Rename boot.Config.Asker to Peers

The field held the PeerClient under the name of a type that no longer exists; the manager's own field is called peers. Only renames; build, wording-check and the tests of core/coord/boot passed.

--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -79,7 +79,7 @@
 	Member     raft.Member
 	Configured []model.Member
 	MinMembers int
-	Asker      A
+	Peers      A
 	Group      M
 	Clock      clock.Clock
 	Joined     func(raft.Member)
@@ -90,7 +90,7 @@
 // running.
 func NewMembershipManager[A PeerClient, M Membership](cfg Config[A, M]) *MembershipManager[A, M] {
 	mm := &MembershipManager[A, M]{
-		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Asker, group: cfg.Group, clock: cfg.Clock,
+		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Peers, group: cfg.Group, clock: cfg.Clock,
 		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
 	}
 	mm.Configure(cfg.Configured)
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -41,7 +41,7 @@
 func newTestManager(minMembers int) (*MembershipManager[fakePeers, *fakeGroup], *fakeGroup, *clock.Fake) {
 	g, c := &fakeGroup{}, clock.NewFake(1000)
 	mm := NewMembershipManager(Config[fakePeers, *fakeGroup]{
-		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: minMembers, Asker: fakePeers{g}, Group: g,
+		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: minMembers, Peers: fakePeers{g}, Group: g,
 		Clock: c.Clock(), Joined: func(raft.Member) {}, Removed: func(raft.MemberID) {},
 	})
 	return mm, g, c
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -122,7 +122,7 @@
 	c.member = newSeat(hello, c.senders)
 	c.keeper = boot.NewMembershipManager(boot.Config[*peers.Client, *seat]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
-		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Asker: c.client, Group: c.member, Clock: clk,
+		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
 			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " under a new identity"})
 		},
