Word core/coord/boot for newcomers

Membership was an interface of the control group, so it is now Group. joinTimeout limited a whole check and is now checkTimeout; removeAfterMillis is removalDelay, as its type gives the unit. The fields of Config are documented instead of referring to others, and the plans are described in full sentences.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -38,16 +38,18 @@
 	Join(ctx context.Context, members []model.Member, self raft.Member) error
 }
 
-// Plan is how a process with an empty data folder becomes a member.
+// Plan is the way in which a process with an empty data folder becomes a member.
 type Plan int
 
 // The plans.
 const (
-	// PlanRetry: not every configured member answered, so ask again.
+	// PlanRetry means that not every configured member has answered and that they
+	// must be asked again.
 	PlanRetry Plan = iota
-	// PlanForm: all members are new; each writes the same initial member list.
+	// PlanForm means that no group exists: each member writes the same initial
+	// member list.
 	PlanForm
-	// PlanJoin: a group exists; its leader must add this process.
+	// PlanJoin means that a group exists, whose leader must add this process.
 	PlanJoin
 )
 
@@ -98,9 +100,9 @@
 
 // AwaitPlan asks the configured members until a plan other than PlanRetry is decided or
 // done is closed; in the latter case it returns PlanRetry.
-func AwaitPlan[A PeerClient](a A, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
+func AwaitPlan[P PeerClient](peers P, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
 	for {
-		plan, members := DecidePlan(self.ID, configured, collectAnswers(a, self, configured))
+		plan, members := DecidePlan(self.ID, configured, collectAnswers(peers, self, configured))
 		if plan != PlanRetry {
 			return plan, members
 		}
@@ -112,16 +114,16 @@
 	}
 }
 
-// collectAnswers asks the configured members for their identity. It returns the answers
-// including self's own.
-func collectAnswers[A PeerClient](a A, self Hello, configured []model.Member) []Hello {
+// collectAnswers asks the configured members for their identity, one after the other. It
+// returns self and the answers; members that don't answer in time are left out.
+func collectAnswers[P PeerClient](peers P, self Hello, configured []model.Member) []Hello {
 	answers := []Hello{self}
 	for _, m := range configured {
 		if m.Name == self.Name {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), helloTimeout.Duration())
-		h, err := a.Hello(ctx, m)
+		h, err := peers.Hello(ctx, m)
 		cancel()
 		if err == nil {
 			answers = append(answers, h)
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -13,9 +13,9 @@
 
 var configured = []model.Member{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}}
 
-// TestDecide guards against two groups with the same settings: a process with an
+// TestDecidePlan guards against two groups with the same settings: a process with an
 // empty data folder must never form a group when one exists.
-func TestDecide(t *testing.T) {
+func TestDecidePlan(t *testing.T) {
 	tests := []struct {
 		name    string
 		answers []Hello
@@ -40,9 +40,9 @@
 	}
 }
 
-// TestMissing guards against replacing a member that merely doesn't answer, and
+// TestUnlistedMember guards against replacing a member that merely doesn't answer, and
 // against not adding a process that lost its data folder.
-func TestMissing(t *testing.T) {
+func TestUnlistedMember(t *testing.T) {
 	members := []raft.Member{{ID: 1, Name: "c1", Voter: true}, {ID: 2, Name: "c2", Voter: true}, {ID: 3, Name: "c3", Voter: true}}
 	_, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
 	assert.Assert(t, !ok, "a member that doesn't answer must stay")
--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -13,16 +13,16 @@
 const (
 	// checkInterval is the time between two checks of the member list.
 	checkInterval = clock.Second
-	// joinTimeout is the limit for one check. Adding a member can take long, because
+	// checkTimeout is the timeout of one check. Adding a member can take long, because
 	// its old identity counts as gone only after an election timeout.
-	joinTimeout = 5 * clock.Second
+	checkTimeout = 5 * clock.Second
 	// maxChecksWithoutLeader is the number of consecutive checks without a known
 	// leader after which a listed member asks to join: it may have been removed while
 	// it was not running.
 	maxChecksWithoutLeader = 3
-	// removeAfterMillis is how long a member must be silent before it is removed from
-	// a group with more than the minimum number of members.
-	removeAfterMillis = 8 * clock.Second
+	// removalDelay is the time for which a member must be silent before it is removed
+	// from a group with more than the minimum number of members.
+	removalDelay = 8 * clock.Second
 )
 
 // View is a member's view of its group.
@@ -36,10 +36,10 @@
 	Silent []raft.MemberID
 }
 
-// Membership is the control group as the manager uses it.
-type Membership interface {
-	// Refresh passes the addresses of the current members to the senders and returns
-	// this process's view of the group.
+// Group is the control group as a MembershipManager uses it.
+type Group interface {
+	// Refresh passes the addresses of the current members to the message transport and
+	// returns this process's view of the group.
 	Refresh(ctx context.Context) View
 	// Join adds a member; only the leader can. The new member replaces the listed
 	// member of the same name if that one no longer answers.
@@ -48,50 +48,59 @@
 	Remove(ctx context.Context, id raft.MemberID) error
 }
 
-// MembershipManager checks the member list regularly and keeps the members' addresses
-// known. On the leader it adds processes that lost their data folder, under their new
+// MembershipManager checks the member list once per checkInterval and refreshes the
+// members' addresses. On the leader it adds processes that lost their data folder, under their new
 // identity, and removes silent members from a group that has more members than the
 // minimum. In a process that is not a member it asks to become one.
-type MembershipManager[A PeerClient, M Membership] struct {
-	self   Hello
+type MembershipManager[P PeerClient, G Group] struct {
+	self Hello
+	// member is the member that requestMembership asks the group to add; if its ID is 0,
+	// it does not ask.
 	member raft.Member
 	// configured holds the control processes in the settings.
 	configured atomic.Pointer[[]model.Member]
 	// minMembers is the number of members below which none is removed.
 	minMembers int
-	peers      A
-	group      M
+	peers      P
+	group      G
 	clock      clock.Clock
-	done       chan struct{}
+	// stop is closed by Stop.
+	stop chan struct{}
 	// joined is called with each process that was added.
 	joined func(m raft.Member)
 	// removed is called with each member that was removed.
 	removed func(id raft.MemberID)
 	// checksWithoutLeader counts the consecutive checks without a known leader.
 	checksWithoutLeader int
-	// silentSince holds, on the leader, since when members have been silent.
+	// silentSince holds, on the leader, the time of the check that first found each
+	// silent member silent.
 	silentSince map[raft.MemberID]clock.Millis
 }
 
-// Config holds the settings and dependencies of a MembershipManager; see its fields.
-type Config[A PeerClient, M Membership] struct {
-	Self       Hello
-	Member     raft.Member
+// Config holds the settings and dependencies of a MembershipManager.
+type Config[P PeerClient, G Group] struct {
+	Self Hello
+	// Member describes this process as the member that the group is asked to add.
+	Member raft.Member
+	// Configured lists the control processes in the settings.
 	Configured []model.Member
+	// MinMembers is the number of members below which none is removed.
 	MinMembers int
-	Peers      A
-	Group      M
+	Peers      P
+	Group      G
 	Clock      clock.Clock
-	Joined     func(raft.Member)
-	Removed    func(raft.MemberID)
+	// Joined is called with each process that was added, and Removed with the ID of
+	// each member that was removed.
+	Joined  func(raft.Member)
+	Removed func(raft.MemberID)
 }
 
-// NewMembershipManager returns a manager. It checks the member list only while Run is
-// running.
-func NewMembershipManager[A PeerClient, M Membership](cfg Config[A, M]) *MembershipManager[A, M] {
-	mm := &MembershipManager[A, M]{
+// NewMembershipManager returns a MembershipManager, which checks the member list only
+// while Run is running.
+func NewMembershipManager[P PeerClient, G Group](cfg Config[P, G]) *MembershipManager[P, G] {
+	mm := &MembershipManager[P, G]{
 		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Peers, group: cfg.Group, clock: cfg.Clock,
-		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
+		stop: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
 	}
 	mm.Configure(cfg.Configured)
 	return mm
@@ -99,25 +108,25 @@
 
 // Configure replaces the configured control processes. It may be called from any
 // goroutine.
-func (mm *MembershipManager[A, M]) Configure(all []model.Member) { mm.configured.Store(&all) }
+func (mm *MembershipManager[P, G]) Configure(all []model.Member) { mm.configured.Store(&all) }
 
-// Run checks the member list until Stop.
-func (mm *MembershipManager[A, M]) Run() error {
+// Run checks the member list until Stop is called, and then returns nil.
+func (mm *MembershipManager[P, G]) Run() error {
 	for {
 		select {
 		case <-mm.clock.After(checkInterval):
 			mm.check()
-		case <-mm.done:
+		case <-mm.stop:
 			return nil
 		}
 	}
 }
 
-// Stop ends Run.
-func (mm *MembershipManager[A, M]) Stop() { close(mm.done) }
+// Stop ends Run. It must be called at most once.
+func (mm *MembershipManager[P, G]) Stop() { close(mm.stop) }
 
-func (mm *MembershipManager[A, M]) check() {
-	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout.Duration())
+func (mm *MembershipManager[P, G]) check() {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Duration())
 	defer cancel()
 	v := mm.group.Refresh(ctx)
 	if !v.IsLeader {
@@ -139,7 +148,7 @@
 // requestMembership asks the group for membership when this process is not a member,
 // or may have been removed because it has had no leader for maxChecksWithoutLeader
 // checks. The request has no effect for a member that is still listed.
-func (mm *MembershipManager[A, M]) requestMembership(ctx context.Context, v View) {
+func (mm *MembershipManager[P, G]) requestMembership(ctx context.Context, v View) {
 	listed := slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == mm.self.ID })
 	mm.checksWithoutLeader++
 	if v.HasLeader {
@@ -153,9 +162,9 @@
 	_ = mm.peers.Join(ctx, others, mm.member)
 }
 
-// removeSilentMember removes a member that has been silent for removeAfterMillis if the
+// removeSilentMember removes a member that has been silent for removalDelay if the
 // group has more than minMembers members, as after a machine was replaced for good.
-func (mm *MembershipManager[A, M]) removeSilentMember(ctx context.Context, v View) {
+func (mm *MembershipManager[P, G]) removeSilentMember(ctx context.Context, v View) {
 	now := mm.clock.Now()
 	for id := range mm.silentSince {
 		if !slices.Contains(v.Silent, id) {
@@ -168,7 +177,7 @@
 			mm.silentSince[id] = now
 			continue
 		}
-		if len(v.Members) > mm.minMembers && now-since >= removeAfterMillis {
+		if len(v.Members) > mm.minMembers && now-since >= removalDelay {
 			if mm.group.Remove(ctx, id) == nil {
 				mm.removed(id)
 			}
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -12,7 +12,8 @@
 	"camphorridge/core/state/raft"
 )
 
-// fakeGroup stands in for the group and the other processes.
+// fakeGroup is a Group whose view the test sets. It records the calls of Remove and counts the
+// calls of fakePeers.Join.
 type fakeGroup struct {
 	view      View
 	joinCalls int
@@ -26,7 +27,7 @@
 	return nil
 }
 
-// fakePeers counts the Join calls in its group.
+// fakePeers is a PeerClient without reachable peers. It counts the Join calls in group.
 type fakePeers struct{ group *fakeGroup }
 
 func (f fakePeers) Hello(context.Context, model.Member) (Hello, error) {
@@ -87,7 +88,7 @@
 		mm, g, clk := newTestManager(c.size)
 		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, IsLeader: true, Silent: []raft.MemberID{3}}
 		mm.check()
-		clk.Advance(removeAfterMillis - 1)
+		clk.Advance(removalDelay - 1)
 		mm.check()
 		assert.Equal(t, len(g.removed), 0)
 		clk.Advance(1)
