Align the names of core/coord/record with core/coord/group

Both packages run an event loop with a ring of inputs. The recorder now uses the same names: ring, stop, done and stopOnce, an input with a reply channel, and an answer.

--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -12,8 +12,8 @@
 	"camphorridge/core/state/raft"
 )
 
-// fakeGroup is a Group whose view the test sets. It records the calls of Remove and counts the
-// calls of fakePeers.Join.
+// fakeGroup is a Group whose view the test sets. It records the calls of Remove and
+// counts the calls of fakePeers.Join.
 type fakeGroup struct {
 	view      View
 	joinCalls int
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -10,19 +10,20 @@
 	"camphorridge/core/state/trail"
 )
 
-// ringSize is the number of events that can wait for the event loop; it is large
-// enough for a burst, such as many refusals at once.
-const ringSize = 1024
+// ringCapacity is the number of events and queries that can wait for the event loop;
+// it is large enough for a burst, such as many refusals at once.
+const ringCapacity = 1024
 
 // Recorder owns the event log of a process. Its methods may be called from any
 // goroutine.
 type Recorder struct {
 	process model.Process
 	clock   clock.Clock
-	in      *ring.Ring[input]
-	done    chan struct{}
-	ended   chan struct{}
-	stop    sync.Once
+	ring    *ring.Ring[input]
+	// stop is closed by Stop, and done when Run returns.
+	stop     chan struct{}
+	done     chan struct{}
+	stopOnce sync.Once
 
 	// mu guards the fields up to lost and is held from stamping an event until it
 	// is in the ring, so that events enter the ring in the order of their stamps.
@@ -34,48 +35,51 @@
 	// lost counts the events that never reached the log.
 	lost int64
 
-	// log is used by Run's goroutine alone until ended is closed, and is only
+	// log is used by Run's goroutine alone until done is closed, and is only
 	// read after that.
 	log *trail.Log
 }
 
-// input is an entry of the ring: an event, or a query when answer is set.
+// input is a value in the ring: an event or, if reply is set, a query for at most
+// limit events after the sequence number since.
 type input struct {
-	event  model.Event
-	since  uint64
-	limit  int
-	answer chan<- reply
+	event model.Event
+	since uint64
+	limit int
+	reply chan<- answer
 }
 
-type reply struct {
+// answer is the answer to a query: the events, and the number of events that the log
+// has dropped so far.
+type answer struct {
 	events  []model.Event
 	dropped int64
 }
 
-// New returns a recorder that keeps the newest capacity events.
+// New returns a Recorder that keeps the newest capacity events.
 func New(process model.Process, capacity int, c clock.Clock) *Recorder {
 	return &Recorder{
 		process: process, clock: c,
-		in:   ring.New[input](ringSize),
-		done: make(chan struct{}), ended: make(chan struct{}),
+		ring: ring.New[input](ringCapacity),
+		stop: make(chan struct{}), done: make(chan struct{}),
 		log: trail.NewLog(capacity),
 	}
 }
 
-// Run adds events to the log and answers queries until Stop. Events recorded
-// before Stop still reach the log.
+// Run adds events to the log and answers queries until Stop is called, and then
+// returns nil. Events recorded before Stop still reach the log.
 func (r *Recorder) Run() error {
-	defer close(r.ended)
+	defer close(r.done)
 	for {
 		select {
-		case m := <-r.in.C():
-			r.handle(m)
-		case <-r.done:
+		case in := <-r.ring.C():
+			r.handle(in)
+		case <-r.stop:
 			r.mu.Lock()
 			r.closed = true
 			r.mu.Unlock()
-			for _, m := range r.in.Drain(nil, ringSize) {
-				r.handle(m)
+			for _, in := range r.ring.Drain(nil, ringCapacity) {
+				r.handle(in)
 			}
 			return nil
 		}
@@ -83,18 +87,18 @@
 }
 
 // Stop ends Run; it may be called more than once.
-func (r *Recorder) Stop() { r.stop.Do(func() { close(r.done) }) }
+func (r *Recorder) Stop() { r.stopOnce.Do(func() { close(r.stop) }) }
 
-func (r *Recorder) handle(m input) {
-	if m.answer == nil {
-		r.log.Add(m.event)
+func (r *Recorder) handle(in input) {
+	if in.reply == nil {
+		r.log.Add(in.event)
 		return
 	}
-	m.answer <- reply{r.log.Since(m.since, m.limit), r.log.Dropped}
+	in.reply <- answer{r.log.Since(in.since, in.limit), r.log.Dropped}
 }
 
-// Record stamps the event and puts it into the ring. It never blocks: when the
-// ring is full the event is dropped and counted, which leaves a gap in the
+// Record stamps the event and puts it into the ring. It never waits for space:
+// if the ring is full, the event is counted as lost, which leaves a gap in the
 // sequence numbers.
 func (r *Recorder) Record(e model.Event) {
 	r.mu.Lock()
@@ -102,7 +106,7 @@
 	r.seq++
 	e.Seq, e.Process = r.seq, r.process
 	e.Stamp = r.hybrid.Next(r.clock.Now())
-	if r.closed || !r.in.TryPut(input{event: e}) {
+	if r.closed || !r.ring.TryPut(input{event: e}) {
 		r.lost++
 	}
 }
@@ -124,14 +128,15 @@
 
 // Events returns the logged events whose sequence number is greater than since,
 // oldest first. It includes all events that the same goroutine recorded before
-// the call, unless they were dropped.
+// the call, unless they were lost or dropped; see Counts. Before Run is called,
+// Events, Page and Counts block.
 func (r *Recorder) Events(since uint64) []model.Event { return r.Page(since, math.MaxInt) }
 
 // Page is like Events but returns at most limit events, so that a response
-// doesn't copy a long log.
+// doesn't contain a copy of a long log.
 func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.query(since, limit).events }
 
-// Counts holds the counters of a recorder; they only grow.
+// Counts holds the counters of a Recorder; they never decrease.
 type Counts struct {
 	// Recorded counts all events, including lost and dropped ones.
 	Recorded int64
@@ -154,14 +159,15 @@
 	return Counts{Recorded: int64(r.seq), Lost: r.lost, Dropped: dropped, Rejected: r.hybrid.Rejected}
 }
 
-func (r *Recorder) query(since uint64, limit int) reply {
-	answer := make(chan reply, 1)
-	if r.in.PutWait(input{since: since, limit: limit, answer: answer}, r.ended) {
+// query asks the event loop for events or, once Run has returned, reads the log itself.
+func (r *Recorder) query(since uint64, limit int) answer {
+	reply := make(chan answer, 1)
+	if r.ring.PutWait(input{since: since, limit: limit, reply: reply}, r.done) {
 		select {
-		case a := <-answer:
+		case a := <-reply:
 			return a
-		case <-r.ended:
+		case <-r.done:
 		}
 	}
-	return reply{r.log.Since(since, limit), r.log.Dropped}
+	return answer{r.log.Since(since, limit), r.log.Dropped}
 }
