--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -25,7 +25,8 @@
 
 // input is a request or a batch of messages for the event loop.
 type input struct {
-	kind     inputKind
+	kind inputKind
+	// op is the name of the operation in errors.
 	op       string
 	change   model.Change
 	messages []raft.Message
@@ -38,6 +39,7 @@
 	reply chan answer
 }
 
+// answer is the reply to an input.
 type answer struct {
 	result model.Result
 	status Status
@@ -141,7 +143,7 @@
 }
 
 // Step passes messages from peers to the event loop without blocking. If the
-// ring is full, the messages are dropped; their senders send them again.
+// ring is full, the messages are dropped; Raft sends them again later.
 func (g *Group[S, C]) Step(messages []raft.Message) {
 	g.ring.TryPut(input{kind: inputMessages, op: "step", messages: messages})
 }
--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -20,6 +20,7 @@
 var errDiskFull = errors.New("no space left on device")
 
 // memStorage is an in-memory Storage. All writes fail while failing is set.
+// maxBatch is the largest number of entries in one Save.
 type memStorage struct {
 	mu       sync.Mutex
 	failing  atomic.Bool
@@ -28,7 +29,7 @@
 	maxBatch int
 }
 
-func (m *memStorage) change(f func()) error {
+func (m *memStorage) write(f func()) error {
 	if m.failing.Load() {
 		return errDiskFull
 	}
@@ -39,7 +40,7 @@
 }
 
 func (m *memStorage) Save(hard *raft.HardState, entries []raft.Entry) error {
-	return m.change(func() {
+	return m.write(func() {
 		m.maxBatch = max(m.maxBatch, len(entries))
 		if hard != nil {
 			m.stored.Hard = *hard
@@ -52,11 +53,11 @@
 }
 
 func (m *memStorage) Install(meta raft.SnapshotMeta, data []byte) error {
-	return m.change(func() { m.stored.Snapshot, m.stored.Entries, m.data = meta, nil, data })
+	return m.write(func() { m.stored.Snapshot, m.stored.Entries, m.data = meta, nil, data })
 }
 
 func (m *memStorage) Snapshot(meta raft.SnapshotMeta, data []byte) error {
-	return m.change(func() {
+	return m.write(func() {
 		m.stored.Entries = slices.Clone(m.stored.Entries[meta.Index-m.stored.Snapshot.Index:])
 		m.stored.Snapshot, m.data = meta, data
 	})
@@ -145,9 +146,9 @@
 		t: t, clock: clock.NewFake(1_000_000), disks: map[raft.MemberID]*memStorage{},
 		network: &network{groups: map[raft.MemberID]*Group[*memStorage, jsonCodec]{}, partitioned: map[raft.MemberID]bool{}},
 	}
-	first := []raft.Member{{ID: 1, Name: "one", Voter: true}, {ID: 2, Name: "two", Voter: true}, {ID: 3, Name: "three", Voter: true}}[:n]
-	for _, m := range first {
-		c.start(m, &memStorage{stored: raft.StoredState{Self: m, Snapshot: raft.SnapshotMeta{Members: first}}})
+	members := []raft.Member{{ID: 1, Name: "one", Voter: true}, {ID: 2, Name: "two", Voter: true}, {ID: 3, Name: "three", Voter: true}}[:n]
+	for _, m := range members {
+		c.start(m, &memStorage{stored: raft.StoredState{Self: m, Snapshot: raft.SnapshotMeta{Members: members}}})
 	}
 	return c
 }
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -83,16 +83,18 @@
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]chan answer
 	lastReadContext  uint64
-	pendingJoins     []input
-	watchers         []watcher
-	observed         observedState
+	// pendingJoins holds the unanswered calls of Join; see advanceJoin.
+	pendingJoins []input
+	watchers     []watcher
+	observed     observedState
 	// failedOutput is the output whose write failed with writeErr and is retried
 	// at retryAt; nil while writes succeed.
 	failedOutput *raft.Output
 	writeErr     error
 	retryAt      clock.Millis
 	counts       Counts
-	terminalErr  error
+	// terminalErr is the error that ends the event loop.
+	terminalErr error
 }
 
 // pendingProposal is a proposal that waits for its commit.
@@ -102,10 +104,13 @@
 	reply chan answer
 }
 
+// watcher is a call of Watch.
 type watcher struct {
 	after model.Version
+	// fired is closed once the version of the state is above after.
 	fired chan struct{}
-	done  <-chan struct{}
+	// done is closed when the caller no longer watches.
+	done <-chan struct{}
 }
 
 // Counts holds counters since the start of the member; they never decrease.
@@ -114,14 +119,19 @@
 	// leader, and LogWrites the synced writes of hard states and entries.
 	Proposals int64
 	LogWrites int64
-	Applied   int64
+	// Applied counts the applied entries, without those in an installed snapshot.
+	Applied int64
 	// DiskFailures counts failed writes, and SnapshotFailures counts failed
 	// writes of local snapshots and failed reads of snapshots.
-	DiskFailures       int64
-	SnapshotFailures   int64
+	DiskFailures     int64
+	SnapshotFailures int64
+	// Snapshots counts the snapshots of the local state that were written, and
+	// InstalledSnapshots those received from a leader.
 	Snapshots          int64
 	InstalledSnapshots int64
-	// RefusedInputs counts inputs that were refused because the ring was full.
+	// RefusedInputs counts inputs that were refused because the ring was full, most
+	// of them messages from peers. Requests that were refused because only the part
+	// of the ring reserved for messages was free are not counted; see call.
 	RefusedInputs int64
 	// DroppedMessages counts peer messages that were dropped while the disk
 	// failed.
@@ -197,6 +207,7 @@
 	return g, nil
 }
 
+// loadSnapshot decodes the stored snapshot, which must be at the given index.
 func (g *Group[S, C]) loadSnapshot(index uint64) error {
 	meta, data, err := g.storage.ReadSnapshot()
 	if err != nil {
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -20,7 +20,8 @@
 	err    error
 }
 
-func apply(customer string, request string) model.Change {
+// contractChange returns a change that adds or replaces the contract of a customer.
+func contractChange(customer string, request string) model.Change {
 	return model.Change{
 		Kind: model.ChangeContractApply, Request: model.RequestID(request), Author: "operator",
 		Contract: model.Contract{Customer: model.Customer(customer)},
@@ -79,7 +80,7 @@
 
 	var pending []<-chan outcome
 	for i := range 100 {
-		pending = append(pending, c.propose(lead, apply(fmt.Sprint("c", i), "")))
+		pending = append(pending, c.propose(lead, contractChange(fmt.Sprint("c", i), "")))
 	}
 	for _, ch := range pending {
 		o := c.awaitOutcome(ch)
@@ -95,7 +96,7 @@
 	assert.Equal(t, s.Counts.Proposals, int64(100))
 
 	c.until("the follower knows the leader", func() bool { return c.status(follower).Leader.ID == lead })
-	o := c.awaitOutcome(c.propose(follower, apply("x", "")))
+	o := c.awaitOutcome(c.propose(follower, contractChange("x", "")))
 	kind, leader := kindOf(o.err)
 	assert.Equal(t, kind, KindNotLeader)
 	assert.Equal(t, leader.ID, lead)
@@ -120,7 +121,7 @@
 	<-blocked
 	var pending []<-chan outcome
 	for i := range 50 {
-		pending = append(pending, c.propose(lead, apply(fmt.Sprint("c", i), "")))
+		pending = append(pending, c.propose(lead, contractChange(fmt.Sprint("c", i), "")))
 	}
 	c.until("50 proposals are queued", func() bool { return g.ring.Len() >= 50 })
 	close(release)
@@ -139,11 +140,11 @@
 func TestLeaderLoss(t *testing.T) {
 	c := newCluster(t, 3)
 	old := c.leader(1, 2, 3)
-	first := c.awaitOutcome(c.propose(old, apply("a", "request-1")))
+	first := c.awaitOutcome(c.propose(old, contractChange("a", "request-1")))
 	assert.NilError(t, first.err)
 
 	c.network.setPartitioned(old, true)
-	pending := c.propose(old, apply("b", "request-2"))
+	pending := c.propose(old, contractChange("b", "request-2"))
 	read := make(chan error, 1)
 	go func() { read <- c.group(old).ReadBarrier(context.Background()) }()
 	lead := c.leader(others(old)...)
@@ -151,10 +152,10 @@
 	assert.Assert(t, kind == KindOutcomeUnknown || kind == KindNotLeader)
 	assert.Assert(t, <-read != nil)
 
-	again := c.awaitOutcome(c.propose(lead, apply("a", "request-1")))
+	again := c.awaitOutcome(c.propose(lead, contractChange("a", "request-1")))
 	assert.NilError(t, again.err)
 	assert.DeepEqual(t, again.result, first.result)
-	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("b", "request-2"))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange("b", "request-2"))).err)
 	c.network.setPartitioned(old, false)
 	c.until("the old leader applies both changes", func() bool { return c.contracts(old) == 2 })
 }
@@ -164,15 +165,15 @@
 func TestDisk(t *testing.T) {
 	c := newCluster(t, 3)
 	full := c.leader(1, 2, 3)
-	assert.NilError(t, c.awaitOutcome(c.propose(full, apply("a", ""))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(full, contractChange("a", ""))).err)
 	c.disks[full].failing.Store(true)
-	kind, _ := kindOf(c.awaitOutcome(c.propose(full, apply("b", "request-2"))).err)
+	kind, _ := kindOf(c.awaitOutcome(c.propose(full, contractChange("b", "request-2"))).err)
 	assert.Equal(t, kind, KindOutcomeUnknown)
-	kind, _ = kindOf(c.awaitOutcome(c.propose(full, apply("c", ""))).err)
+	kind, _ = kindOf(c.awaitOutcome(c.propose(full, contractChange("c", ""))).err)
 	assert.Equal(t, kind, KindDisk)
 
 	lead := c.leader(others(full)...)
-	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("b", "request-2"))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange("b", "request-2"))).err)
 	c.until("retries", func() bool { return c.status(full).Counts.DiskFailures > 2 })
 	assert.Assert(t, c.status(full).DiskError != "")
 	assert.Equal(t, c.contracts(full), 1)
@@ -204,7 +205,7 @@
 func TestGrow(t *testing.T) {
 	c := newCluster(t, 1)
 	lead := c.leader(1)
-	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("a", ""))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange("a", ""))).err)
 	for id := raft.MemberID(2); id <= 3; id++ {
 		m := raft.Member{ID: id, Name: model.Process(fmt.Sprint("member", id))}
 		c.start(m, &memStorage{stored: raft.StoredState{Self: m}})
@@ -241,7 +242,7 @@
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
 	for i := range 60 {
-		assert.NilError(t, c.awaitOutcome(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
+		assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange(fmt.Sprint("c", i), ""))).err)
 	}
 	lost := others(lead)[0]
 	name := c.status(lead).Members[lost-1].Name
@@ -255,7 +256,7 @@
 	assert.Equal(t, c.status(9).Counts.InstalledSnapshots, int64(1))
 
 	c.network.setPartitioned(others(lead)[1], true)
-	assert.NilError(t, c.awaitOutcome(c.propose(lead, apply("last", ""))).err)
+	assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange("last", ""))).err)
 }
 
 // TestRestart guards against a restart that loses acknowledged changes.
@@ -263,7 +264,7 @@
 	c := newCluster(t, 3)
 	lead := c.leader(1, 2, 3)
 	for i := range 30 {
-		assert.NilError(t, c.awaitOutcome(c.propose(lead, apply(fmt.Sprint("c", i), ""))).err)
+		assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange(fmt.Sprint("c", i), ""))).err)
 	}
 	for id := range raft.MemberID(3) {
 		c.group(id + 1).Stop()
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -53,6 +53,7 @@
 	in.answer(answer{err: failf(in.op, KindDisk, "%w", g.writeErr)})
 }
 
+// propose appends a change to the log. Its caller is answered when it is applied.
 func (g *Group[S, C]) propose(in input) {
 	now := g.clock.Now()
 	if g.node.Role() != raft.RoleLeader {
@@ -85,6 +86,7 @@
 	g.pendingProposals[index] = pendingProposal{op: in.op, term: term, reply: in.reply}
 }
 
+// read requests a read. Its caller is answered when a quorum has confirmed it.
 func (g *Group[S, C]) read(in input) {
 	if len(g.pendingReads) >= g.cfg.MaxPending {
 		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for confirmation", len(g.pendingReads))})
@@ -108,7 +110,7 @@
 }
 
 // tick advances the time of the Raft node, or retries a failed write, and
-// removes the watches and joins whose caller no longer waits.
+// removes the watchers and joins whose caller no longer waits.
 func (g *Group[S, C]) tick() {
 	now := g.clock.Now()
 	g.watchers = slices.DeleteFunc(g.watchers, func(w watcher) bool { return isClosed(w.done) })
@@ -125,6 +127,7 @@
 	}
 }
 
+// notLeader returns an error with KindNotLeader that contains the current leader.
 func (g *Group[S, C]) notLeader(op string) error {
 	leader := g.member(g.node.Leader())
 	err := failf(op, KindNotLeader, "member %x is a %s; the leader is %q", g.node.Self(), g.node.Role(), leader.Name).(*Error)
@@ -146,6 +149,8 @@
 	return failf(op, KindInvalid, "%w", err)
 }
 
+// member returns the member with an ID. A member that is not in the group has only
+// its ID set.
 func (g *Group[S, C]) member(id raft.MemberID) raft.Member {
 	for _, m := range g.node.Members() {
 		if m.ID == id {
@@ -187,8 +192,8 @@
 	g.pendingJoins = nil
 }
 
-// fireWatchers closes the channels of the watches whose version is below the
-// current one, and removes these watches.
+// fireWatchers fires and removes the watchers whose version is below the current
+// one.
 func (g *Group[S, C]) fireWatchers() {
 	g.watchers = slices.DeleteFunc(g.watchers, func(w watcher) bool {
 		fire := g.state.Version > w.after
--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -25,6 +25,8 @@
 	}
 }
 
+// refuseJoins answers all pending joins with an error, because this member does
+// not lead.
 func (g *Group[S, C]) refuseJoins() {
 	for _, in := range g.pendingJoins {
 		in.answer(answer{err: g.notLeader(in.op)})
@@ -33,9 +35,9 @@
 }
 
 // advanceJoin performs the next step of a join and reports whether the join has
-// been answered. The old ID of a member that lost its disk is removed before the
-// new one is added: in a group of three, the quorum then consists of the same
-// two disks throughout.
+// been answered. The old ID of a member that lost its disk is removed, once it is
+// no longer active, before the new one is added: in a group of three, the quorum
+// then consists of the same two disks throughout.
 func (g *Group[S, C]) advanceJoin(in input) bool {
 	if g.node.MembersPending() {
 		return false
@@ -75,6 +77,7 @@
 	return raft.PeerStatus{}, false
 }
 
+// tryChange proposes one membership change and returns an error of the Raft node.
 func (g *Group[S, C]) tryChange(kind raft.ChangeKind, m raft.Member) error {
 	_, _, err := g.node.ChangeMembers(raft.MemberChange{Kind: kind, Member: m}, g.clock.Now())
 	return err
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -48,6 +48,8 @@
 	}
 }
 
+// write saves the hard state and the entries of an output and installs its
+// snapshot. The error has KindDisk or KindCorrupt.
 func (g *Group[S, C]) write(out *raft.Output) error {
 	if out.Hard != nil || len(out.Append) > 0 {
 		if err := g.storage.Save(out.Hard, out.Append); err != nil {
