--- a/core/state/raft/checks_test.go
+++ b/core/state/raft/checks_test.go
@@ -5,7 +5,7 @@
 func (w *world) check(h *host) {
 	n := h.node
 	if n.Commit() < h.commit || n.Commit() > n.log.last() {
-		w.failf("host %d: commit went from %d to %d with last index %d", h.self.ID, h.commit, n.Commit(), n.log.last())
+		w.failf("host %d: the commit index changed from %d to %d with last index %d; it must not decrease or exceed the last index", h.self.ID, h.commit, n.Commit(), n.log.last())
 	}
 	grown := n.Commit() > h.commit
 	h.commit = n.Commit()
@@ -15,9 +15,9 @@
 	if grown {
 		w.checkCommit(n)
 	}
-	held, known := w.leaders[n.Term()]
-	if known && held != h.self.ID {
-		w.failf("term %d has two leaders, %d and %d", n.Term(), held, h.self.ID)
+	leader, known := w.leaders[n.Term()]
+	if known && leader != h.self.ID {
+		w.failf("term %d has two leaders, %d and %d", n.Term(), leader, h.self.ID)
 	}
 	if !known {
 		w.leaders[n.Term()] = h.self.ID
@@ -51,12 +51,12 @@
 		return
 	}
 	if hard.Commit > h.disk.last() {
-		w.failf("host %d writes commit %d with only %d on disk", h.self.ID, hard.Commit, h.disk.last())
+		w.failf("host %d writes commit index %d, but its disk ends at entry %d", h.self.ID, hard.Commit, h.disk.last())
 		return
 	}
 	t, ok := h.node.log.term(hard.Commit)
 	if ok && h.disk.entries[hard.Commit-h.disk.snap.Index-1].Term != t {
-		w.failf("host %d writes commit %d before that entry is on disk", h.self.ID, hard.Commit)
+		w.failf("host %d writes commit index %d before that entry is on disk", h.self.ID, hard.Commit)
 	}
 }
 
@@ -77,9 +77,9 @@
 func (w *world) checkSynced(h *host, m Message) {
 	switch {
 	case m.Term > h.disk.hard.Term && m.Kind != MsgPreVote && m.Kind != MsgPreVoteReply:
-		w.failf("host %d sent term %d with only term %d on disk", h.self.ID, m.Term, h.disk.hard.Term)
+		w.failf("host %d sent term %d, but its disk has term %d", h.self.ID, m.Term, h.disk.hard.Term)
 	case m.Kind == MsgAppendReply && !m.Reject && m.Term == h.disk.hard.Term && m.Index > h.disk.last():
-		w.failf("host %d acknowledged %d with only %d on disk", h.self.ID, m.Index, h.disk.last())
+		w.failf("host %d acknowledged entry %d, but its disk ends at entry %d", h.self.ID, m.Index, h.disk.last())
 	case m.Kind == MsgVoteReply && !m.Reject && m.Term == h.disk.hard.Term && m.To != h.disk.hard.Vote:
 		w.failf("host %d voted for %d with a vote for %d on disk", h.self.ID, m.To, h.disk.hard.Vote)
 	}
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -75,6 +75,9 @@
 	return listed && n.log.upToDate(m.Index, m.LogTerm)
 }
 
+// onPreVote grants a pre-vote for a later term, unless a leader has been active
+// recently or this member may not vote for the candidate. The pre-vote changes
+// neither the term nor the vote of this member.
 func (n *Node) onPreVote(m Message) {
 	granted := m.Term > n.term && !n.inLeaderLease() && n.canVoteFor(m)
 	term := n.term
@@ -84,6 +87,8 @@
 	n.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: term, Reject: !granted})
 }
 
+// onVote grants a vote unless this member knows a leader of the term or has voted
+// for another candidate in it.
 func (n *Node) onVote(m Message) {
 	voteAvailable := n.vote == m.From || (n.vote == 0 && n.leader == 0)
 	granted := voteAvailable && n.role == RoleFollower && n.canVoteFor(m)
@@ -108,6 +113,8 @@
 	n.countVotes()
 }
 
+// countVotes starts an election once a quorum has granted its pre-vote, and makes
+// this member the leader once a quorum has granted its vote.
 func (n *Node) countVotes() {
 	if !n.hasQuorum(func(id MemberID) bool { return n.votes[id] }) {
 		return
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -39,13 +39,17 @@
 	// paused is set in stateProbe while an append waits for its reply.
 	paused bool
 	// sendEmpty requests an append even if it is empty, to detect a lost append.
-	sendEmpty   bool
+	sendEmpty bool
+	// lastContact is the time of the last reply from the member; initially the
+	// time at which it was added to peers.
 	lastContact clock.Millis
 	// ackedRound is the last heartbeat round that the member acknowledged.
 	ackedRound uint64
 	outgoing   outgoingSnapshot
 }
 
+// becomeProbe changes to stateProbe. The next append starts at next, or after
+// match if that is higher.
 func (p *progress) becomeProbe(next uint64) {
 	p.state, p.next = stateProbe, max(next, p.match+1)
 	p.inflight, p.paused, p.sendEmpty = nil, false, false
@@ -107,6 +111,8 @@
 	return p.next - 1 + uint64(len(es))
 }
 
+// termAt returns the term of the entry at an index, or 0 if the log does not hold
+// the entry.
 func (n *Node) termAt(index uint64) uint64 {
 	t, _ := n.log.term(index)
 	return t
@@ -150,6 +156,10 @@
 	return nil
 }
 
+// onAppendReply records the entries that a member has acknowledged. A reply to a
+// probe changes the member to stateReplicate. The transfer of a snapshot ends when
+// the member has acknowledged the snapshot, or when the log holds the last entry
+// that the member has.
 func (n *Node) onAppendReply(m Message, p *progress) {
 	if m.Reject {
 		n.onReject(m, p)
@@ -200,6 +210,8 @@
 	p.becomeProbe(min(m.Index, hint+1))
 }
 
+// onHeartbeatReply records the acknowledged heartbeat round. It allows another
+// append to the member, because an earlier append or its reply may be lost.
 func (n *Node) onHeartbeatReply(m Message, p *progress) {
 	p.ackedRound = max(p.ackedRound, m.Context)
 	p.paused = false
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -60,9 +60,9 @@
 // then a recovery without faults.
 func runSchedule(seed uint64) *world {
 	w := newWorld(seed, 5, 3+2*int(seed%2))
-	w.lossPercent, w.duplicatePercent, w.maxDelay = w.r.IntN(20), w.r.IntN(20), 2+w.r.IntN(40)
+	w.lossPercent, w.duplicatePercent, w.maxDelay = w.random.IntN(20), w.random.IntN(20), 2+w.random.IntN(40)
 	for i := 0; i < 250 && w.err == nil; i++ {
-		w.run(clock.Millis(1 + w.r.IntN(15)))
+		w.run(clock.Millis(1 + w.random.IntN(15)))
 		w.injectFault()
 		if i%8 == 0 {
 			w.reconcile()
@@ -124,17 +124,17 @@
 
 // injectFault performs at most one random request, fault or end of a fault.
 func (w *world) injectFault() {
-	h := w.hosts[w.r.IntN(len(w.hosts))]
-	switch p := w.r.IntN(200); {
+	h := w.hosts[w.random.IntN(len(w.hosts))]
+	switch p := w.random.IntN(200); {
 	case p < 50:
-		w.request(h)
+		w.submitRandom(h)
 	case p < 54 && h.node != nil:
 		w.crash(h)
 	case p < 64 && h.node == nil:
 		w.start(h)
 	case p < 66:
 		for _, x := range w.hosts {
-			x.partition = w.r.IntN(2)
+			x.partition = w.random.IntN(2)
 		}
 	case p < 70:
 		for _, x := range w.hosts {
@@ -153,20 +153,20 @@
 	}
 }
 
-// request submits a random request, in most cases to the current leader and
-// otherwise to the given host.
-func (w *world) request(h *host) {
-	if l := w.leader(); l != nil && w.r.IntN(4) > 0 {
+// submitRandom submits a random request, in most cases to the current leader and
+// otherwise to the given host. A history has at most 40 requests.
+func (w *world) submitRandom(h *host) {
+	if l := w.leader(); l != nil && w.random.IntN(4) > 0 {
 		h = l
 	}
 	if len(w.history) >= 40 {
 		return
 	}
-	q := request{kind: "wcr"[w.r.IntN(3)], new: int64(len(w.history) + 1)}
+	q := request{kind: "wcr"[w.random.IntN(3)], new: int64(len(w.history) + 1)}
 	if len(w.history) > 0 {
-		q.old = int64(w.r.IntN(len(w.history)) + 1)
+		q.old = int64(w.random.IntN(len(w.history)) + 1)
 	}
-	if h.node != nil && w.r.IntN(2) == 0 {
+	if h.node != nil && w.random.IntN(2) == 0 {
 		q.old = h.value
 	}
 	w.submit(h, q)
--- a/core/state/raft/snapshot.go
+++ b/core/state/raft/snapshot.go
@@ -24,7 +24,8 @@
 }
 
 // sendSnapshot requests the snapshot from the caller or sends the current chunk.
-// Nothing is sent to a member that has not been active recently.
+// Either is repeated after two heartbeat intervals without a result. Nothing is
+// sent to a member that has not been active recently.
 func (n *Node) sendSnapshot(id MemberID, p *progress) {
 	if p.state != stateSnapshot {
 		p.becomeProbe(p.next)
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -89,14 +89,20 @@
 	Kind MessageKind
 	From MemberID
 	To   MemberID
+	// Term is the current term of the sender. In MsgPreVote and in the reply that
+	// grants it, Term is the next term, in which the candidate would be elected.
 	Term uint64
 	// Index and LogTerm identify the entry before the entries of an append, or
 	// the last log entry of a candidate.
 	Index   uint64
 	LogTerm uint64
+	// Commit is the commit index of the leader. In a heartbeat it is at most the
+	// index of the last entry that the receiver is known to hold.
 	Commit  uint64
 	Entries []Entry
-	Reject  bool
+	// Reject is set in a reply that refuses a vote, the entries of an append or a
+	// message of an earlier term.
+	Reject bool
 	// Hint is, in the rejection of an append, the largest index at which the
 	// follower's log may agree with the leader's, and LogTerm is the term of
 	// that entry. In a reply to a snapshot chunk, Hint is the offset of the
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/world_test.go
@@ -77,7 +77,7 @@
 // safety, and that terms, votes and acknowledged entries are on disk before a
 // message reports them.
 type world struct {
-	r       *rand.Rand
+	random  *rand.Rand
 	now     clock.Millis
 	hosts   []*host
 	network []inFlight
@@ -98,9 +98,11 @@
 	history   []porcupine.Operation
 	// operationClock orders the calls and returns in history.
 	operationClock int64
-	installs       int
-	wipes          int
-	err            error
+	// installs counts the installed snapshots, and wipes the lost disks.
+	installs int
+	wipes    int
+	// err is the first failure.
+	err error
 }
 
 // request is a client operation on the replicated register.
@@ -109,16 +111,18 @@
 	old, new int64
 }
 
+// The kinds of request. Tests choose one by its position in "wcr".
 const (
-	opWrite = 'w'
-	opSwap  = 'c'
-	opRead  = 'r'
+	opWrite          = 'w'
+	opCompareAndSwap = 'c'
+	opRead           = 'r'
 	// noReturn is the return time of an operation without an answer.
 	noReturn = int64(1) << 62
 )
 
-// register is the sequential model of the register. An output of -1 means that
-// the client has not received the outcome.
+// register is the sequential model of the register. The output of a read is the
+// value, and the output of a compare-and-swap is 1 if it replaced the value and 0
+// otherwise. An output of -1 means that the client has not received the outcome.
 var register = porcupine.Model{
 	Init: func() any { return int64(0) },
 	Step: func(state, input, output any) (bool, any) {
@@ -143,7 +147,7 @@
 func newWorld(seed uint64, hosts, wanted int) *world {
 	r := rand.New(rand.NewPCG(seed, 1))
 	w := &world{
-		r: r, now: 1000, leaders: map[uint64]MemberID{}, snapshotInterval: uint64(4 + r.IntN(20)), maxDelay: 10,
+		random: r, now: 1000, leaders: map[uint64]MemberID{}, snapshotInterval: uint64(4 + r.IntN(20)), maxDelay: 10,
 		cfg: Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 60 + r.IntN(400), ChunkBytes: 4 + r.IntN(30), KeepEntries: uint64(r.IntN(6)), Seed: seed},
 	}
 	var first []Member
@@ -193,9 +197,9 @@
 // crash stops a host. A write in progress is lost, or a random part of it is
 // kept.
 func (w *world) crash(h *host) {
-	if out := h.writing; out != nil && w.r.IntN(2) == 0 {
-		hard := []*HardState{out.Hard, nil}[w.r.IntN(2)]
-		h.disk.write(hard, out.Append[:w.r.IntN(len(out.Append)+1)])
+	if out := h.writing; out != nil && w.random.IntN(2) == 0 {
+		hard := []*HardState{out.Hard, nil}[w.random.IntN(2)]
+		h.disk.write(hard, out.Append[:w.random.IntN(len(out.Append)+1)])
 	}
 	h.node, h.writing, h.frozen = nil, nil, false
 }
@@ -267,9 +271,9 @@
 			w.checkHard(h, out.Hard)
 			h.writing, h.writeDue = &out, w.now
 			if len(out.Append) > 0 || out.Hard != nil {
-				h.writeDue += clock.Millis(w.r.IntN(3))
+				h.writeDue += clock.Millis(w.random.IntN(3))
 				if h.slowDisk {
-					h.writeDue += clock.Millis(w.r.IntN(150))
+					h.writeDue += clock.Millis(w.random.IntN(150))
 				}
 			}
 		}
@@ -327,26 +331,26 @@
 }
 
 func (w *world) sendMessage(m Message) {
-	if w.r.IntN(100) < w.lossPercent {
+	if w.random.IntN(100) < w.lossPercent {
 		return
 	}
-	w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.r.IntN(w.maxDelay))})
-	if w.r.IntN(100) < w.duplicatePercent {
-		w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.r.IntN(4*w.maxDelay))})
+	w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.random.IntN(w.maxDelay))})
+	if w.random.IntN(100) < w.duplicatePercent {
+		w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.random.IntN(4*w.maxDelay))})
 	}
 }
 
 // apply applies an entry, checks state machine safety and answers the client.
 func (w *world) apply(h *host, e Entry) {
 	if e.Index != h.applied+1 {
-		w.failf("host %d applied %d after %d", h.self.ID, e.Index, h.applied)
+		w.failf("host %d applied entry %d after entry %d", h.self.ID, e.Index, h.applied)
 	}
 	h.applied = e.Index
 	switch known := uint64(len(w.committed)); {
 	case e.Index == known+1:
 		w.committed = append(w.committed, e)
 	case e.Index > known+1:
-		w.failf("host %d applied %d before anyone applied %d", h.self.ID, e.Index, known+1)
+		w.failf("host %d applied entry %d before any host applied entry %d", h.self.ID, e.Index, known+1)
 	case w.committed[e.Index-1].Term != e.Term || string(w.committed[e.Index-1].Data) != string(e.Data):
 		w.failf("host %d applied a different entry at index %d", h.self.ID, e.Index)
 	}
@@ -361,7 +365,7 @@
 }
 
 func (h *host) change(q request) int64 {
-	if q.kind == opSwap && h.value != q.old {
+	if q.kind == opCompareAndSwap && h.value != q.old {
 		return 0
 	}
 	h.value = q.new
@@ -410,7 +414,7 @@
 
 func (w *world) answerRead(h *host, r ReadReady) {
 	if r.Index > h.applied {
-		w.failf("host %d answers a read at index %d with only %d applied", h.self.ID, r.Index, h.applied)
+		w.failf("host %d answers a read at index %d, but has applied entries only up to index %d", h.self.ID, r.Index, h.applied)
 	}
 	if op, ok := h.pendingReads[r.Context]; ok {
 		w.reply(op, h.value)
