Name segments in full and document recovery in core/state/store

The local g for a segment is now seg, outOfOrder is outOfOrderError like its neighbours, and recordBuf says that it also carries the last record from loadSegment to rewriteLastRecord. The numbers that the fault test draws are explained.

--- a/core/state/store/disk_test.go
+++ b/core/state/store/disk_test.go
@@ -136,7 +136,7 @@
 	if !machine {
 		return
 	}
-	coin := func() bool { return rapid.Bool().Draw(t, "kept") }
+	keep := func() bool { return rapid.Bool().Draw(t, "kept") }
 	var paths []string
 	for path := range d.names {
 		paths = append(paths, path)
@@ -150,7 +150,7 @@
 	kept := map[string]*inode{}
 	for _, path := range paths {
 		before, now := d.durable[path], d.names[path]
-		if before != now && coin() {
+		if before != now && keep() {
 			before = now
 		}
 		if before != nil {
@@ -164,7 +164,7 @@
 		}
 		data := append([]byte(nil), n.synced...)
 		for b := 0; b*blockSize < len(n.data); b++ {
-			if n.dirty[b] && coin() {
+			if n.dirty[b] && keep() {
 				end := min((b+1)*blockSize, len(n.data))
 				data = append(data, make([]byte, max(0, end-len(data)))...)
 				copy(data[b*blockSize:end], n.data[b*blockSize:end])
--- a/core/state/store/meta.go
+++ b/core/state/store/meta.go
@@ -16,7 +16,9 @@
 	tempExt  = ".tmp"
 	// metaMagic identifies the file format and its version.
 	metaMagic = "crmeta01"
-	metaSize  = len(metaMagic) + 4*8 + 4
+	// metaSize is the size of the meta file in bytes: the magic, four fields of 8
+	// bytes and a checksum of 4 bytes.
+	metaSize = len(metaMagic) + 4*8 + 4
 )
 
 // metaState is the content of the meta file.
@@ -82,6 +84,7 @@
 	return s.files.SyncDir(s.dir)
 }
 
+// writeTemp writes and syncs a temporary file that consists of the given parts.
 func (s *Store[C, F]) writeTemp(path string, parts [][]byte) error {
 	f, err := s.files.Open(path)
 	if err != nil {
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -48,6 +48,8 @@
 	logs  []uint64
 }
 
+// recover loads the meta file, the latest snapshot and the log. It removes files that
+// a crash left and generates a member ID if the folder is empty.
 func (s *Store[C, F]) recover(self raft.Member) error {
 	found, err := s.listDataFiles()
 	if err != nil {
@@ -103,7 +105,7 @@
 		if index, ok := parseIndex(name, logPrefix, logExt); ok {
 			size, err := s.files.Size(s.path(name))
 			if err != nil {
-				return dataFiles{}, ioError("size of "+name, err)
+				return dataFiles{}, ioError("get size of "+name, err)
 			}
 			if size == 0 {
 				s.droppedFiles = append(s.droppedFiles, name)
@@ -117,6 +119,8 @@
 	return found, s.removeDropped()
 }
 
+// loadMeta reads the meta file. If the folder contains no data, it generates a member
+// ID and creates the file.
 func (s *Store[C, F]) loadMeta(found dataFiles) error {
 	if found.meta {
 		b, err := s.files.ReadFile(s.path(metaName))
@@ -158,23 +162,24 @@
 	return s.removeOldSnapshots()
 }
 
-// loadLog reads the segments and returns their entries. The segments must be
-// contiguous and start at most one entry after the snapshot.
-func (s *Store[C, F]) loadLog(firsts []uint64) ([]raft.Entry, error) {
+// loadLog reads the segments that start at the given indexes and returns their
+// entries. The segments must be contiguous, and the first must start at most one
+// entry after the snapshot.
+func (s *Store[C, F]) loadLog(firstIndexes []uint64) ([]raft.Entry, error) {
 	var log []raft.Entry
 	next := s.snapshot.Index + 1
-	for i, first := range firsts {
+	for i, first := range firstIndexes {
 		if first > next || (i > 0 && first < next) {
 			return nil, &Error{Op: "open", Kind: KindGap, Err: fmt.Errorf(
 				"%s does not start after entry %d", segment{first: first}.name(), next-1)}
 		}
-		g, entries, err := s.loadSegment(first, i == len(firsts)-1)
+		seg, entries, err := s.loadSegment(first, i == len(firstIndexes)-1)
 		if err != nil {
 			return nil, err
 		}
-		s.segments = append(s.segments, g)
+		s.segments = append(s.segments, seg)
 		log = append(log, entries...)
-		next = g.last + 1
+		next = seg.last + 1
 	}
 	if n := len(s.segments); n > 0 && s.segments[n-1].size == 0 {
 		// The write of the first record of a new segment was interrupted.
@@ -187,34 +192,34 @@
 // segment, a damaged record without a valid record after it is the incomplete
 // end of an unacknowledged write and is ignored.
 func (s *Store[C, F]) loadSegment(first uint64, final bool) (segment, []raft.Entry, error) {
-	g := segment{first: first, last: first - 1}
-	b, err := s.files.ReadFile(s.path(g.name()))
+	seg := segment{first: first, last: first - 1}
+	b, err := s.files.ReadFile(s.path(seg.name()))
 	if err != nil {
-		return g, nil, ioError("read "+g.name(), err)
+		return seg, nil, ioError("read "+seg.name(), err)
 	}
 	var log []raft.Entry
-	for g.size < int64(len(b)) {
-		payload, n, ok := parseRecord(b[g.size:])
+	for seg.size < int64(len(b)) {
+		payload, n, ok := parseRecord(b[seg.size:])
 		if !ok {
-			if !final || containsRecord(b[g.size+1:]) {
-				return g, nil, corruptError(g.name(), g.size, "the record is damaged")
+			if !final || containsRecord(b[seg.size+1:]) {
+				return seg, nil, corruptError(seg.name(), seg.size, "the record is damaged")
 			}
 			break
 		}
 		batch, err := decodeBatch(s.codec, payload)
 		if err != nil {
-			return g, nil, corruptError(g.name(), g.size, "%w", err)
+			return seg, nil, corruptError(seg.name(), seg.size, "%w", err)
 		}
 		start := batch[0].Index
-		if start < first || start > g.last+1 {
-			return g, nil, corruptError(g.name(), g.size, "entry %d follows entry %d", start, g.last)
+		if start < first || start > seg.last+1 {
+			return seg, nil, corruptError(seg.name(), seg.size, "entry %d follows entry %d", start, seg.last)
 		}
 		log = append(log[:start-first], batch...)
-		s.recordBuf = b[g.size : g.size+int64(n)]
-		g.last = batch[len(batch)-1].Index
-		g.size += int64(n)
+		s.recordBuf = b[seg.size : seg.size+int64(n)]
+		seg.last = batch[len(batch)-1].Index
+		seg.size += int64(n)
 	}
-	return g, log, nil
+	return seg, log, nil
 }
 
 // reconcile reconciles the log with the snapshot and returns the entries after
@@ -258,16 +263,16 @@
 	if err := s.openActive(); err != nil {
 		return err
 	}
-	g := s.segments[len(s.segments)-1]
-	err := s.active.Truncate(g.size)
+	seg := s.segments[len(s.segments)-1]
+	err := s.active.Truncate(seg.size)
 	if err == nil {
-		_, err = s.active.WriteAt(s.recordBuf, g.size-int64(len(s.recordBuf)))
+		_, err = s.active.WriteAt(s.recordBuf, seg.size-int64(len(s.recordBuf)))
 	}
 	if err == nil {
 		err = s.active.Sync()
 	}
 	if err != nil {
-		return ioError("sync "+g.name(), err)
+		return ioError("sync "+seg.name(), err)
 	}
 	return nil
 }
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -31,7 +31,7 @@
 	size int64
 }
 
-func (g segment) name() string { return indexName(logPrefix, g.first, logExt) }
+func (seg segment) name() string { return indexName(logPrefix, seg.first, logExt) }
 
 // last returns the index of the last durable entry, or of the snapshot if there
 // are no segments.
@@ -49,21 +49,21 @@
 	}
 	s.recordBuf = appendRecord(s.codec, s.recordBuf[:0], batch)
 	size := int64(len(s.recordBuf))
-	g := &s.segments[len(s.segments)-1]
-	_, err := s.active.WriteAt(s.recordBuf, g.size)
+	seg := &s.segments[len(s.segments)-1]
+	_, err := s.active.WriteAt(s.recordBuf, seg.size)
 	if cap(s.recordBuf) > maxKeptBuffer {
 		s.recordBuf = nil
 	}
 	if err != nil {
 		s.tornWrite = true
-		return ioError("append to "+g.name(), err)
+		return ioError("append to "+seg.name(), err)
 	}
 	if err := s.active.Sync(); err != nil {
 		s.failedSync = true
-		return ioError("sync "+g.name(), err)
+		return ioError("sync "+seg.name(), err)
 	}
-	g.size += size
-	g.last = batch[len(batch)-1].Index
+	seg.size += size
+	seg.last = batch[len(batch)-1].Index
 	return nil
 }
 
@@ -96,8 +96,8 @@
 // startSegment creates a new segment. The file name is made durable before a
 // record in the file is acknowledged.
 func (s *Store[C, F]) startSegment(first uint64) error {
-	g := segment{first: first, last: first - 1}
-	f, err := s.files.Open(s.path(g.name()))
+	seg := segment{first: first, last: first - 1}
+	f, err := s.files.Open(s.path(seg.name()))
 	if err == nil {
 		err = f.Truncate(0)
 		if err == nil {
@@ -108,15 +108,16 @@
 		}
 	}
 	if err != nil {
-		s.droppedFiles = append(s.droppedFiles, g.name())
-		return ioError("create "+g.name(), err)
+		s.droppedFiles = append(s.droppedFiles, seg.name())
+		return ioError("create "+seg.name(), err)
 	}
 	s.closeActive()
-	s.segments = append(s.segments, g)
+	s.segments = append(s.segments, seg)
 	s.active = f
 	return nil
 }
 
+// openActive opens the file of the last segment.
 func (s *Store[C, F]) openActive() error {
 	name := s.segments[len(s.segments)-1].name()
 	f, err := s.files.Open(s.path(name))
@@ -190,14 +191,14 @@
 	if len(s.segments) == 0 || (!s.tornWrite && !s.failedSync) {
 		return nil
 	}
-	g := s.segments[len(s.segments)-1]
+	seg := s.segments[len(s.segments)-1]
 	if s.failedSync {
 		s.closeActive()
-		b, err := s.files.ReadFile(s.path(g.name()))
+		b, err := s.files.ReadFile(s.path(seg.name()))
 		if err != nil {
-			return ioError("read "+g.name(), err)
+			return ioError("read "+seg.name(), err)
 		}
-		if err := checkRecords(g, b); err != nil {
+		if err := checkRecords(seg, b); err != nil {
 			return err
 		}
 	}
@@ -206,13 +207,13 @@
 			return err
 		}
 	}
-	err := s.active.Truncate(g.size)
+	err := s.active.Truncate(seg.size)
 	if err == nil {
 		err = s.active.Sync()
 	}
 	if err != nil {
 		s.failedSync = true
-		return ioError("truncate "+g.name(), err)
+		return ioError("truncate "+seg.name(), err)
 	}
 	s.tornWrite, s.failedSync = false, false
 	return nil
@@ -220,14 +221,14 @@
 
 // checkRecords returns an error if the synced records of a segment, whose file
 // content is b, are damaged.
-func checkRecords(g segment, b []byte) error {
-	if int64(len(b)) < g.size {
-		return corruptError(g.name(), int64(len(b)), "the file ends before offset %d", g.size)
+func checkRecords(seg segment, b []byte) error {
+	if int64(len(b)) < seg.size {
+		return corruptError(seg.name(), int64(len(b)), "the file ends before offset %d", seg.size)
 	}
-	for off := int64(0); off < g.size; {
-		_, n, ok := parseRecord(b[off:g.size])
+	for off := int64(0); off < seg.size; {
+		_, n, ok := parseRecord(b[off:seg.size])
 		if !ok {
-			return corruptError(g.name(), off, "the record is damaged")
+			return corruptError(seg.name(), off, "the record is damaged")
 		}
 		off += int64(n)
 	}
@@ -236,6 +237,7 @@
 
 func (s *Store[C, F]) path(name string) string { return filepath.Join(s.dir, name) }
 
-func outOfOrder(op, format string, args ...any) error {
+// outOfOrderError returns an Error with KindOutOfOrder.
+func outOfOrderError(op, format string, args ...any) error {
 	return &Error{Op: op, Kind: KindOutOfOrder, Err: fmt.Errorf(format, args...)}
 }
--- a/core/state/store/snapshot.go
+++ b/core/state/store/snapshot.go
@@ -99,7 +99,7 @@
 	}
 	if !sameSnapshot(meta, s.snapshot) {
 		if meta.Index <= s.snapshot.Index || meta.Index > s.last() {
-			return outOfOrder("snapshot", "index %d must be above the snapshot index %d and at most %d", meta.Index, s.snapshot.Index, s.last())
+			return outOfOrderError("snapshot", "index %d must be above the snapshot index %d and at most %d", meta.Index, s.snapshot.Index, s.last())
 		}
 		if err := s.writeSnapshot(meta, data); err != nil {
 			return err
@@ -119,7 +119,7 @@
 	}
 	if !sameSnapshot(meta, s.snapshot) {
 		if low := max(s.snapshot.Index, s.hard.Commit); meta.Index <= low {
-			return outOfOrder("install", "index %d must be above the committed index %d", meta.Index, low)
+			return outOfOrderError("install", "index %d must be above the committed index %d", meta.Index, low)
 		}
 		if err := s.writeSnapshot(meta, data); err != nil {
 			return err
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -51,9 +51,11 @@
 	// tornWrite is set while the last segment may have bytes after its size;
 	// failedSync is set after a failed sync.
 	tornWrite, failedSync bool
-	recordBuf             []byte
-	stored                raft.StoredState
-	closed                bool
+	// recordBuf is a buffer for the next record. During Open it holds the last
+	// record of the last segment; see rewriteLastRecord.
+	recordBuf []byte
+	stored    raft.StoredState
+	closed    bool
 }
 
 // Stored returns the state that Open recovered. Its entries are available only
@@ -92,6 +94,8 @@
 	return nil
 }
 
+// saveHardState writes a new term or vote to the meta file. A new commit index alone
+// is only kept in memory.
 func (s *Store[C, F]) saveHardState(hard raft.HardState, entries []raft.Entry) error {
 	if hard.Term == s.hard.Term && hard.Vote == s.hard.Vote {
 		s.commit = max(s.commit, hard.Commit)
@@ -105,20 +109,22 @@
 	return s.writeMeta(hard, durable)
 }
 
+// checkOrder returns an error with KindOutOfOrder if the arguments of Save would lower
+// the term, replace committed entries or leave a gap in the log.
 func (s *Store[C, F]) checkOrder(hard *raft.HardState, entries []raft.Entry) error {
 	if hard != nil && hard.Term < s.hard.Term {
-		return outOfOrder("save", "term %d is below the stored term %d", hard.Term, s.hard.Term)
+		return outOfOrderError("save", "term %d is below the stored term %d", hard.Term, s.hard.Term)
 	}
 	for i, e := range entries {
 		if want := entries[0].Index + uint64(i); e.Index != want {
-			return outOfOrder("save", "the entries are not contiguous: found index %d, expected %d", e.Index, want)
+			return outOfOrderError("save", "the entries are not contiguous: found index %d, expected %d", e.Index, want)
 		}
 	}
 	if len(entries) == 0 {
 		return nil
 	}
 	if low, first := max(s.snapshot.Index, s.hard.Commit), entries[0].Index; first <= low || first > s.last()+1 {
-		return outOfOrder("save", "first index %d must be above the committed index %d and at most %d", first, low, s.last()+1)
+		return outOfOrderError("save", "first index %d must be above the committed index %d and at most %d", first, low, s.last()+1)
 	}
 	return nil
 }
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -59,7 +59,10 @@
 	afterAbandoned bool
 }
 
-func (r *run) draw(t *rapid.T) step {
+// drawStep draws a call that is valid for the current content: Snapshot if kind is
+// 0, Install if it is 1, and otherwise Save. After an abandoned call it is always a
+// Save with a new term.
+func (r *run) drawStep(t *rapid.T) step {
 	out := step{hard: r.hard, snap: r.snap, log: r.log, keptEntries: len(r.log)}
 	kind := rapid.IntRange(0, 9).Draw(t, "call")
 	if r.abandoned {
@@ -161,7 +164,12 @@
 		r := &run{disk: newDisk()}
 		r.reopen(t)
 		for range rapid.IntRange(1, 25).Draw(t, "calls") {
-			next := r.draw(t)
+			next := r.drawStep(t)
+			// Faults 0 to 2 are a power cut during the call, after which 2 also
+			// interrupts the recovery. Faults 3 to 5 are one failed operation: after
+			// a failed call, 3 is followed by a crash, 4 may abandon the call, and 5
+			// repeats it. Faults 6 and 7 are a crash after the call, and 8 and 9 are
+			// none.
 			fault := rapid.IntRange(0, 9).Draw(t, "fault")
 			r.disk.failure = []error{syscall.ENOSPC, syscall.EIO}[fault%2]
 			if fault < 6 {
