--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -2,7 +2,7 @@
 
 import "camphorridge/core/state/model"
 
-// Action is an action that removes an obstacle.
+// Action is an action that an operator can take to remove an obstacle.
 type Action string
 
 // The actions.
@@ -75,4 +75,5 @@
 	return Advice{ActionWait, string(p.Name)}
 }
 
+// instanceAdvice returns the advice to apply an action to an instance.
 func instanceAdvice(a Action, id model.InstanceID) Advice { return Advice{a, string(id)} }
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -70,7 +70,8 @@
 	// RelatedEvents lists the events of the instances of a request around the
 	// time of the request.
 	RelatedEvents []model.Event
-	// LimitHits lists the limits that were reached, the most recent first.
+	// LimitHits lists the limits that were reached, the most recently reached
+	// first.
 	LimitHits []LimitHit
 	// Obstacles lists the current obstacles.
 	Obstacles []Obstacle
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -23,7 +23,8 @@
 	Moves int
 	// FinishedMaintenances is the number of finished maintenances of instances.
 	FinishedMaintenances int
-	Waves                []Wave
+	// Waves lists the declared maintenances in the order of their names.
+	Waves []Wave
 	// IdleInstances is the number of serving instances beyond the promised
 	// number: the buffer.
 	IdleInstances int
@@ -52,8 +53,9 @@
 	Elapsed clock.Millis
 }
 
-// Measure computes the measures. The events must be in causal order, as returned
-// by Merge. Changes whose events were dropped from the log are not included.
+// Measure computes the Measures of the fleet. The events must be in causal order,
+// as returned by Merge. Changes whose events were dropped from the log are not
+// included.
 func Measure(state CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
@@ -76,6 +78,8 @@
 	return m
 }
 
+// measureRollout finds, in the events after a contract change, those with which the
+// entry processes report that they have applied it.
 func measureRollout(state CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
@@ -95,6 +99,8 @@
 	return r
 }
 
+// medianAndLongest returns the median and the longest time of the complete rollouts,
+// or 0 if there are none.
 func medianAndLongest(all []Rollout) (median, longest clock.Millis) {
 	var times []clock.Millis
 	for _, r := range all {
@@ -109,6 +115,8 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
+// measureWave counts the instances that a declared maintenance selects and those
+// that have returned from it. Retired instances are not counted.
 func measureWave(state CurrentState, m model.Maintenance) Wave {
 	w := Wave{Name: m.Name}
 	last := m.DeclaredAt
@@ -146,8 +154,8 @@
 		}
 	}
 	n := 0
-	for p, h := range serving {
-		n += max(0, h-promised[p])
+	for pool, count := range serving {
+		n += max(0, count-promised[pool])
 	}
 	return n
 }
--- a/core/state/trail/merge.go
+++ b/core/state/trail/merge.go
@@ -17,6 +17,7 @@
 	return slices.Compact(out)
 }
 
+// compareEvents compares two events in the order of Merge.
 func compareEvents(a, b model.Event) int {
 	return cmp.Or(
 		cmp.Compare(a.Stamp.Wall, b.Stamp.Wall),
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -124,6 +124,7 @@
 	x.Obstacles = append(x.Obstacles, obstacle)
 }
 
+// contractHasPool reports whether a contract promises instances in a pool.
 func contractHasPool(c model.Contract, p model.Pool) bool {
 	return slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
 }
