Restore the common names of a ring and its channels

Eight other packages call the ring of an event loop in, the channel that Stop closes done, the one closed at the end ended, and the size of the ring ringSize.

--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -64,8 +64,8 @@
 	peers      P
 	group      G
 	clock      clock.Clock
-	// stop is closed by Stop.
-	stop chan struct{}
+	// done is closed by Stop.
+	done chan struct{}
 	// joined is called with each process that was added.
 	joined func(m raft.Member)
 	// removed is called with each member that was removed.
@@ -100,7 +100,7 @@
 func NewMembershipManager[P PeerClient, G Group](cfg Config[P, G]) *MembershipManager[P, G] {
 	mm := &MembershipManager[P, G]{
 		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Peers, group: cfg.Group, clock: cfg.Clock,
-		stop: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
+		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
 	}
 	mm.Configure(cfg.Configured)
 	return mm
@@ -116,14 +116,14 @@
 		select {
 		case <-mm.clock.After(checkInterval):
 			mm.check()
-		case <-mm.stop:
+		case <-mm.done:
 			return nil
 		}
 	}
 }
 
 // Stop ends Run. It must be called at most once.
-func (mm *MembershipManager[P, G]) Stop() { close(mm.stop) }
+func (mm *MembershipManager[P, G]) Stop() { close(mm.done) }
 
 func (mm *MembershipManager[P, G]) check() {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Duration())
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -10,20 +10,20 @@
 	"camphorridge/core/state/trail"
 )
 
-// ringCapacity is the number of events and queries that can wait for the event loop;
+// ringSize is the number of events and queries that can wait for the event loop;
 // it is large enough for a burst, such as many refusals at once.
-const ringCapacity = 1024
+const ringSize = 1024
 
 // Recorder owns the event log of a process. Its methods may be called from any
 // goroutine.
 type Recorder struct {
 	process model.Process
 	clock   clock.Clock
-	ring    *ring.Ring[input]
-	// stop is closed by Stop, and done when Run returns.
-	stop     chan struct{}
-	done     chan struct{}
-	stopOnce sync.Once
+	in      *ring.Ring[input]
+	// done is closed by Stop, and ended when Run returns.
+	done  chan struct{}
+	ended chan struct{}
+	stop  sync.Once
 
 	// mu guards the fields up to lost and is held from stamping an event until it
 	// is in the ring, so that events enter the ring in the order of their stamps.
@@ -35,7 +35,7 @@
 	// lost counts the events that never reached the log.
 	lost int64
 
-	// log is used by Run's goroutine alone until done is closed, and is only
+	// log is used by Run's goroutine alone until ended is closed, and is only
 	// read after that.
 	log *trail.Log
 }
@@ -60,8 +60,8 @@
 func New(process model.Process, capacity int, c clock.Clock) *Recorder {
 	return &Recorder{
 		process: process, clock: c,
-		ring: ring.New[input](ringCapacity),
-		stop: make(chan struct{}), done: make(chan struct{}),
+		in:   ring.New[input](ringSize),
+		done: make(chan struct{}), ended: make(chan struct{}),
 		log: trail.NewLog(capacity),
 	}
 }
@@ -69,16 +69,16 @@
 // Run adds events to the log and answers queries until Stop is called, and then
 // returns nil. Events recorded before Stop still reach the log.
 func (r *Recorder) Run() error {
-	defer close(r.done)
+	defer close(r.ended)
 	for {
 		select {
-		case in := <-r.ring.C():
+		case in := <-r.in.C():
 			r.handle(in)
-		case <-r.stop:
+		case <-r.done:
 			r.mu.Lock()
 			r.closed = true
 			r.mu.Unlock()
-			for _, in := range r.ring.Drain(nil, ringCapacity) {
+			for _, in := range r.in.Drain(nil, ringSize) {
 				r.handle(in)
 			}
 			return nil
@@ -87,7 +87,7 @@
 }
 
 // Stop ends Run; it may be called more than once.
-func (r *Recorder) Stop() { r.stopOnce.Do(func() { close(r.stop) }) }
+func (r *Recorder) Stop() { r.stop.Do(func() { close(r.done) }) }
 
 func (r *Recorder) handle(in input) {
 	if in.reply == nil {
@@ -106,7 +106,7 @@
 	r.seq++
 	e.Seq, e.Process = r.seq, r.process
 	e.Stamp = r.hybrid.Next(r.clock.Now())
-	if r.closed || !r.ring.TryPut(input{event: e}) {
+	if r.closed || !r.in.TryPut(input{event: e}) {
 		r.lost++
 	}
 }
@@ -162,11 +162,11 @@
 // query asks the event loop for events or, once Run has returned, reads the log itself.
 func (r *Recorder) query(since uint64, limit int) answer {
 	reply := make(chan answer, 1)
-	if r.ring.PutWait(input{since: since, limit: limit, reply: reply}, r.done) {
+	if r.in.PutWait(input{since: since, limit: limit, reply: reply}, r.ended) {
 		select {
 		case a := <-reply:
 			return a
-		case <-r.done:
+		case <-r.ended:
 		}
 	}
 	return answer{r.log.Since(since, limit), r.log.Dropped}
