--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -19,8 +19,9 @@
 	KindBusy
 	// KindDisk means that this member's disk fails; nothing was done.
 	KindDisk
-	// KindPending means that another membership change is in progress; nothing
-	// was done.
+	// KindPending means that another membership change is in progress, or that
+	// the leader has not committed an entry of its own term yet; nothing was done
+	// and the request may be retried.
 	KindPending
 	// KindInvalid means that the request contradicts the state of the group;
 	// nothing was done.
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -52,11 +52,14 @@
 	return o
 }
 
+// contracts returns the number of contracts in the state of a member.
 func (c *cluster) contracts(id raft.MemberID) (n int) {
 	assert.NilError(c.t, c.group(id).Query(c.t.Context(), func(s *fleet.State) { n = len(s.Contracts) }))
 	return n
 }
 
+// kindOf returns the kind of an error, or -1 if it is not an *Error, and the leader
+// that it names.
 func kindOf(err error) (Kind, raft.Member) {
 	var e *Error
 	if !errors.As(err, &e) {
@@ -65,6 +68,7 @@
 	return e.Kind, e.Leader
 }
 
+// others returns the IDs of the members other than id.
 func others(id raft.MemberID) []raft.MemberID {
 	return slices.DeleteFunc([]raft.MemberID{1, 2, 3}, func(x raft.MemberID) bool { return x == id })
 }
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -46,10 +46,10 @@
 
 // campaign requests pre-votes from the voters or, once a quorum has granted
 // them, votes in a new term.
-func (n *Node) campaign(pre bool) {
+func (n *Node) campaign(preVote bool) {
 	kind, term := MsgPreVote, n.term+1
-	n.role, n.preVote, n.leader = RoleCandidate, pre, 0
-	if !pre {
+	n.role, n.preVote, n.leader = RoleCandidate, preVote, 0
+	if !preVote {
 		kind = MsgVote
 		n.term = term
 		n.vote = n.self
@@ -102,11 +102,11 @@
 // onVoteReply counts a granted vote or pre-vote. A pre-vote is granted for the
 // term after the current one, a vote for the current one.
 func (n *Node) onVoteReply(m Message) {
-	pre := m.Kind == MsgPreVoteReply
-	if n.role != RoleCandidate || n.preVote != pre || m.Reject {
+	preVote := m.Kind == MsgPreVoteReply
+	if n.role != RoleCandidate || n.preVote != preVote || m.Reject {
 		return
 	}
-	if (pre && m.Term != n.term+1) || (!pre && m.Term != n.term) {
+	if (preVote && m.Term != n.term+1) || (!preVote && m.Term != n.term) {
 		return
 	}
 	n.votes[m.From] = true
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -1,8 +1,8 @@
 package raft
 
-// entryOverhead is the size in bytes that each entry adds to a message beyond
-// its data: index, term, kind and framing.
-const entryOverhead = 32
+// entryOverheadBytes is the size that each entry adds to a message beyond its
+// data: index, term, kind and framing.
+const entryOverheadBytes = 32
 
 // entryLog holds the log entries after a base index. The slices that it returns
 // are never overwritten: truncate reduces the capacity, so that the next append
@@ -55,7 +55,7 @@
 func (l *entryLog) sliceMaxBytes(from uint64, maxBytes int) []Entry {
 	size, to := 0, from-1
 	for to < l.last() {
-		size += len(l.entries[to-l.base].Data) + entryOverhead
+		size += len(l.entries[to-l.base].Data) + entryOverheadBytes
 		if size > maxBytes && to >= from {
 			break
 		}
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -6,9 +6,9 @@
 	"camphorridge/core/state/clock"
 )
 
-// maxInflight is the maximum number of unacknowledged appends to one member.
-// With messages of 64 KiB it limits the data in flight to 4 MiB.
-const maxInflight = 64
+// maxInflightAppends is the maximum number of unacknowledged appends to one
+// member. With messages of 64 KiB it limits the data in flight to 4 MiB.
+const maxInflightAppends = 64
 
 // peerState is the mode in which the leader replicates to a member.
 type peerState int
@@ -34,7 +34,7 @@
 	next  uint64
 	state peerState
 	// inflight holds the last index of each unacknowledged append in ascending
-	// order, at most maxInflight of them.
+	// order, at most maxInflightAppends of them.
 	inflight []uint64
 	// paused is set in stateProbe while an append waits for its reply.
 	paused bool
@@ -85,7 +85,7 @@
 		return
 	}
 	sent := false
-	for p.next <= n.log.last() && len(p.inflight) < maxInflight {
+	for p.next <= n.log.last() && len(p.inflight) < maxInflightAppends {
 		last := n.sendAppend(id, p)
 		p.next = last + 1
 		p.inflight = append(p.inflight, last)
@@ -118,8 +118,10 @@
 	return t
 }
 
-// onAppend appends the entries of the leader to the log. The reply is part of
-// the same Output as the entries and is therefore sent after they are synced.
+// onAppend appends the entries of the leader to the log, in place of entries that
+// differ from them. The reply is part of the same Output as the entries and is
+// therefore sent after they are synced. The error has KindInvalid if an entry
+// would replace a committed one or leave a gap.
 func (n *Node) onAppend(m Message) error {
 	prev, prevTerm, es := m.Index, m.LogTerm, m.Entries
 	// Committed entries are the same on every leader; skip those in the message.
@@ -130,6 +132,8 @@
 	}
 	if t, ok := n.log.term(prev); !ok || t != prevTerm {
 		hint, term := n.log.findConflictByTerm(min(prev-1, n.log.last()), prevTerm)
+		// This log agrees with the leader's up to the commit index, so that the
+		// leader need not go back further.
 		if hint < n.commit {
 			hint, term = n.commit, n.termAt(n.commit)
 		}
@@ -237,6 +241,7 @@
 		return
 	}
 	slices.Sort(matches)
+	// The lower median is the largest index up to which a quorum has the entries.
 	index := matches[(len(matches)-1)/2]
 	if index <= n.commit || n.termAt(index) != n.term {
 		return
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -15,9 +15,9 @@
 	// maxRecordBytes limits the data of one record. A larger batch is written as
 	// several records, each synced before the next one.
 	maxRecordBytes = 16 << 20
-	// maxKeptBuffer is the capacity in bytes above which the record buffer is
-	// not kept for the next record.
-	maxKeptBuffer = 1 << 20
+	// maxKeptBufferBytes is the capacity above which the record buffer is not kept
+	// for the next record.
+	maxKeptBufferBytes = 1 << 20
 )
 
 // segment is one file of the log. Segments are contiguous and do not overlap.
@@ -51,7 +51,7 @@
 	size := int64(len(s.recordBuf))
 	seg := &s.segments[len(s.segments)-1]
 	_, err := s.active.WriteAt(s.recordBuf, seg.size)
-	if cap(s.recordBuf) > maxKeptBuffer {
+	if cap(s.recordBuf) > maxKeptBufferBytes {
 		s.recordBuf = nil
 	}
 	if err != nil {
