Say member ID instead of identity in core/coord/boot

Raft, store and group call the number that a member draws for its data folder its ID; boot called it identity as well.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -17,22 +17,23 @@
 	roundDelay clock.Millis = 200
 )
 
-// Hello describes the identity of a control process.
+// Hello describes a control process to the others.
 type Hello struct {
 	Name model.Process
-	ID   raft.MemberID
+	// ID is the member ID in the data folder of the process; 0 if it has none.
+	ID raft.MemberID
 	// Initialised is set once the process has been in a group. It is durable and
 	// never cleared.
 	Initialised bool
 	// Founders is the member list as long as all its members are voters, and empty
-	// otherwise. A process that finds its own identity in it is a founder whose start
-	// was interrupted.
+	// otherwise. A process that finds its own ID in it is a founder whose start was
+	// interrupted.
 	Founders []raft.Member
 }
 
 // PeerClient calls other control processes.
 type PeerClient interface {
-	// Hello asks a control process for its identity.
+	// Hello asks a control process to describe itself.
 	Hello(ctx context.Context, m model.Member) (Hello, error)
 	// Join asks the group that the members belong to for membership of self.
 	Join(ctx context.Context, members []model.Member, self raft.Member) error
@@ -57,13 +58,14 @@
 // for PlanForm and the processes that answered for PlanJoin. answers holds an answer
 // of each configured member that responded, including this process.
 func DecidePlan(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
-	members := identified(configured, answers)
+	members := respondingMembers(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
 			continue
 		}
-		// The founder's identity has not been used, because its data folder is empty
-		// under the same identity. So it can safely start from the same list.
+		// The data folder of this founder is empty and still has the same ID, so that
+		// the ID has not been used in a group. The founder can safely start from the
+		// same list.
 		if slices.ContainsFunc(a.Founders, func(m raft.Member) bool { return m.ID == self }) {
 			return PlanForm, a.Founders
 		}
@@ -81,9 +83,9 @@
 	return PlanForm, members
 }
 
-// identified returns the configured processes that answered with an identity, sorted by
-// name.
-func identified(configured []model.Member, answers []Hello) []raft.Member {
+// respondingMembers returns the configured processes that answered with a member ID,
+// sorted by name.
+func respondingMembers(configured []model.Member, answers []Hello) []raft.Member {
 	byName := make(map[model.Process]Hello, len(answers))
 	for _, a := range answers {
 		byName[a.Name] = a
@@ -114,8 +116,8 @@
 	}
 }
 
-// collectAnswers asks the configured members for their identity, one after the other. It
-// returns self and the answers; members that don't answer in time are left out.
+// collectAnswers calls Hello for each configured member, one after the other. It returns
+// self and the answers; members that don't answer within helloTimeout are left out.
 func collectAnswers[P PeerClient](peers P, self Hello, configured []model.Member) []Hello {
 	answers := []Hello{self}
 	for _, m := range configured {
@@ -132,9 +134,9 @@
 	return answers
 }
 
-// UnlistedMember returns a configured process that answers with an identity which is
-// not in the member list and has never been in a group: its data folder was lost, or it
-// was added to the settings. ok is false when there is none.
+// UnlistedMember returns a configured process that answers with a member ID which is not
+// in the member list and has never been in a group: its data folder was lost, or it was
+// added to the settings. ok is false when there is none.
 func UnlistedMember(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
 	listed := make(map[raft.MemberID]bool, len(members))
 	for _, m := range members {
@@ -146,7 +148,7 @@
 			fresh = append(fresh, a)
 		}
 	}
-	found := identified(configured, fresh)
+	found := respondingMembers(configured, fresh)
 	if len(found) == 0 {
 		return raft.Member{}, false
 	}
--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -14,7 +14,7 @@
 	// checkInterval is the time between two checks of the member list.
 	checkInterval = clock.Second
 	// checkTimeout is the timeout of one check. Adding a member can take long, because
-	// its old identity counts as gone only after an election timeout.
+	// its old ID is removed only after an election timeout without contact.
 	checkTimeout = 5 * clock.Second
 	// maxChecksWithoutLeader is the number of consecutive checks without a known
 	// leader after which a listed member asks to join: it may have been removed while
@@ -49,9 +49,9 @@
 }
 
 // MembershipManager checks the member list once per checkInterval and refreshes the
-// members' addresses. On the leader it adds processes that lost their data folder, under their new
-// identity, and removes silent members from a group that has more members than the
-// minimum. In a process that is not a member it asks to become one.
+// members' addresses. On the leader it adds processes that lost their data folder,
+// under their new ID, and removes silent members from a group that has more members
+// than the minimum. In a process that is not a member it asks to become one.
 type MembershipManager[P PeerClient, G Group] struct {
 	self Hello
 	// member is the member that requestMembership asks the group to add; if its ID is 0,
