--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -46,10 +46,10 @@
 
 // campaign requests pre-votes from the voters or, once a quorum has granted
 // them, votes in a new term.
-func (n *Node) campaign(pre bool) {
+func (n *Node) campaign(preVote bool) {
 	kind, term := MsgPreVote, n.term+1
-	n.role, n.preVote, n.leader = RoleCandidate, pre, 0
-	if !pre {
+	n.role, n.preVote, n.leader = RoleCandidate, preVote, 0
+	if !preVote {
 		kind = MsgVote
 		n.term = term
 		n.vote = n.self
@@ -75,6 +75,9 @@
 	return listed && n.log.upToDate(m.Index, m.LogTerm)
 }
 
+// onPreVote grants a pre-vote for a later term, unless a leader has been active
+// recently or this member may not vote for the candidate. The pre-vote changes
+// neither the term nor the vote of this member.
 func (n *Node) onPreVote(m Message) {
 	granted := m.Term > n.term && !n.inLeaderLease() && n.canVoteFor(m)
 	term := n.term
@@ -84,6 +87,8 @@
 	n.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: term, Reject: !granted})
 }
 
+// onVote grants a vote unless this member knows a leader of the term or has voted
+// for another candidate in it.
 func (n *Node) onVote(m Message) {
 	voteAvailable := n.vote == m.From || (n.vote == 0 && n.leader == 0)
 	granted := voteAvailable && n.role == RoleFollower && n.canVoteFor(m)
@@ -97,17 +102,19 @@
 // onVoteReply counts a granted vote or pre-vote. A pre-vote is granted for the
 // term after the current one, a vote for the current one.
 func (n *Node) onVoteReply(m Message) {
-	pre := m.Kind == MsgPreVoteReply
-	if n.role != RoleCandidate || n.preVote != pre || m.Reject {
+	preVote := m.Kind == MsgPreVoteReply
+	if n.role != RoleCandidate || n.preVote != preVote || m.Reject {
 		return
 	}
-	if (pre && m.Term != n.term+1) || (!pre && m.Term != n.term) {
+	if (preVote && m.Term != n.term+1) || (!preVote && m.Term != n.term) {
 		return
 	}
 	n.votes[m.From] = true
 	n.countVotes()
 }
 
+// countVotes starts an election once a quorum has granted its pre-vote, and makes
+// this member the leader once a quorum has granted its vote.
 func (n *Node) countVotes() {
 	if !n.hasQuorum(func(id MemberID) bool { return n.votes[id] }) {
 		return
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -6,9 +6,9 @@
 	"camphorridge/core/state/clock"
 )
 
-// maxInflight is the maximum number of unacknowledged appends to one member.
-// With messages of 64 KiB it limits the data in flight to 4 MiB.
-const maxInflight = 64
+// maxInflightAppends is the maximum number of unacknowledged appends to one
+// member. With messages of 64 KiB it limits the data in flight to 4 MiB.
+const maxInflightAppends = 64
 
 // peerState is the mode in which the leader replicates to a member.
 type peerState int
@@ -34,18 +34,22 @@
 	next  uint64
 	state peerState
 	// inflight holds the last index of each unacknowledged append in ascending
-	// order, at most maxInflight of them.
+	// order, at most maxInflightAppends of them.
 	inflight []uint64
 	// paused is set in stateProbe while an append waits for its reply.
 	paused bool
 	// sendEmpty requests an append even if it is empty, to detect a lost append.
-	sendEmpty   bool
+	sendEmpty bool
+	// lastContact is the time of the last reply from the member; initially the
+	// time at which it was added to peers.
 	lastContact clock.Millis
 	// ackedRound is the last heartbeat round that the member acknowledged.
 	ackedRound uint64
 	outgoing   outgoingSnapshot
 }
 
+// becomeProbe changes to stateProbe. The next append starts at next, or after
+// match if that is higher.
 func (p *progress) becomeProbe(next uint64) {
 	p.state, p.next = stateProbe, max(next, p.match+1)
 	p.inflight, p.paused, p.sendEmpty = nil, false, false
@@ -81,7 +85,7 @@
 		return
 	}
 	sent := false
-	for p.next <= n.log.last() && len(p.inflight) < maxInflight {
+	for p.next <= n.log.last() && len(p.inflight) < maxInflightAppends {
 		last := n.sendAppend(id, p)
 		p.next = last + 1
 		p.inflight = append(p.inflight, last)
@@ -107,13 +111,17 @@
 	return p.next - 1 + uint64(len(es))
 }
 
+// termAt returns the term of the entry at an index, or 0 if the log does not hold
+// the entry.
 func (n *Node) termAt(index uint64) uint64 {
 	t, _ := n.log.term(index)
 	return t
 }
 
-// onAppend appends the entries of the leader to the log. The reply is part of
-// the same Output as the entries and is therefore sent after they are synced.
+// onAppend appends the entries of the leader to the log, in place of entries that
+// differ from them. The reply is part of the same Output as the entries and is
+// therefore sent after they are synced. The error has KindInvalid if an entry
+// would replace a committed one or leave a gap.
 func (n *Node) onAppend(m Message) error {
 	prev, prevTerm, es := m.Index, m.LogTerm, m.Entries
 	// Committed entries are the same on every leader; skip those in the message.
@@ -124,6 +132,8 @@
 	}
 	if t, ok := n.log.term(prev); !ok || t != prevTerm {
 		hint, term := n.log.findConflictByTerm(min(prev-1, n.log.last()), prevTerm)
+		// This log agrees with the leader's up to the commit index, so that the
+		// leader need not go back further.
 		if hint < n.commit {
 			hint, term = n.commit, n.termAt(n.commit)
 		}
@@ -150,6 +160,10 @@
 	return nil
 }
 
+// onAppendReply records the entries that a member has acknowledged. A reply to a
+// probe changes the member to stateReplicate. The transfer of a snapshot ends when
+// the member has acknowledged the snapshot, or when the log holds the last entry
+// that the member has.
 func (n *Node) onAppendReply(m Message, p *progress) {
 	if m.Reject {
 		n.onReject(m, p)
@@ -200,6 +214,8 @@
 	p.becomeProbe(min(m.Index, hint+1))
 }
 
+// onHeartbeatReply records the acknowledged heartbeat round. It allows another
+// append to the member, because an earlier append or its reply may be lost.
 func (n *Node) onHeartbeatReply(m Message, p *progress) {
 	p.ackedRound = max(p.ackedRound, m.Context)
 	p.paused = false
@@ -225,6 +241,7 @@
 		return
 	}
 	slices.Sort(matches)
+	// The lower median is the largest index up to which a quorum has the entries.
 	index := matches[(len(matches)-1)/2]
 	if index <= n.commit || n.termAt(index) != n.term {
 		return
