entry: rename TakeBack and Recalled to HandleReturn and HandleRecall

The dispatcher's methods for loan messages now have the names of the ledger's methods that they call. Renames only; go vet, wording-check and the tests of core/coord/entry pass.

--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -20,14 +20,14 @@
 	return response
 }
 
-// TakeBack handles the return of loans by another entry process.
-func (d *Dispatcher[P, Q, L]) TakeBack(r lend.Return) {
+// HandleReturn handles the return of loans by another entry process.
+func (d *Dispatcher[P, Q, L]) HandleReturn(r lend.Return) {
 	d.withLoans(func(clock.Millis) { d.loans.HandleReturn(r) })
 }
 
-// Recalled handles the recall of loans by a lender that was restarted. It ends the
+// HandleRecall handles the recall of loans by a lender that was restarted. It ends the
 // loans from the lender's earlier runs and reports whether all of them have ended.
-func (d *Dispatcher[P, Q, L]) Recalled(r lend.Recall) (clear bool) {
+func (d *Dispatcher[P, Q, L]) HandleRecall(r lend.Recall) (clear bool) {
 	d.withLoans(func(clock.Millis) { clear = d.loans.HandleRecall(r) })
 	return clear
 }
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -69,7 +69,7 @@
 	assert.Equal(t, d.Drained(), model.Version(5))
 	renew := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
 	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
-	d.TakeBack(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
+	d.HandleReturn(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
 	until(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
 }
 
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -28,8 +28,8 @@
 // Lender is the part of an entry process that holds the ledger of loans.
 type Lender interface {
 	Lend(a lend.LoanRequest) lend.LoanResponse
-	TakeBack(r lend.Return)
-	Recalled(r lend.Recall) (clear bool)
+	HandleReturn(r lend.Return)
+	HandleRecall(r lend.Recall) (clear bool)
 }
 
 // Table answers with the process's table.
@@ -73,13 +73,13 @@
 // Return takes loans back.
 func (s *NeighbourServer) Return(_ context.Context, r *wirepb.ReturnRequest) (*wirepb.ReturnResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	s.Lender.TakeBack(codec.ReturnFromWire(r))
+	s.Lender.HandleReturn(codec.ReturnFromWire(r))
 	return &wirepb.ReturnResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
 // Recall ends the loans of an earlier run of a lender.
 func (s *NeighbourServer) Recall(_ context.Context, r *wirepb.RecallRequest) (*wirepb.RecallResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	clear := s.Lender.Recalled(codec.RecallFromWire(r))
+	clear := s.Lender.HandleRecall(codec.RecallFromWire(r))
 	return &wirepb.RecallResponse{Clear: clear, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
