runner: rename Certain to NotApplied and KindUnknown to KindOutcomeUnknown

Certain did not say what is certain: that the change was not applied. KindOutcomeUnknown is the word that the consensus group and AnswerKind use.

--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -240,7 +240,7 @@
 	case a := <-reply:
 		return a.reply, a.err
 	case <-ctx.Done():
-		return HeartbeatReply{}, failf("heartbeat", KindUnknown, "%w", ctx.Err())
+		return HeartbeatReply{}, failf("heartbeat", KindOutcomeUnknown, "%w", ctx.Err())
 	case <-r.ended:
 		return HeartbeatReply{}, failf("heartbeat", KindNotLeader, "the process stops")
 	}
@@ -272,7 +272,7 @@
 	for {
 		select {
 		case <-r.done:
-			r.reset(failf("run", KindUnknown, "the process stops"))
+			r.reset(failf("run", KindOutcomeUnknown, "the process stops"))
 			return nil
 		case in := <-r.in.C():
 			buf = r.in.Drain(append(buf[:0], in), ringSize)
@@ -312,7 +312,7 @@
 		return
 	}
 	if r.term != 0 {
-		r.reset(failf("lead", KindUnknown, "the leadership ended"))
+		r.reset(failf("lead", KindOutcomeUnknown, "the leadership ended"))
 	}
 	r.term = 0
 	if !ok {
@@ -340,7 +340,7 @@
 // failBatch sends the answers for a batch that was not committed.
 func (r *Runner[G, M, O, J]) failBatch(b *batch, err *Error) {
 	for _, a := range b.answers {
-		if err.Kind == KindUnknown || a.uncertain {
+		if err.Kind == KindOutcomeUnknown || a.uncertain {
 			a.reply <- Answer{Kind: AnswerOutcomeUnknown, Reason: err.Error()}
 		} else {
 			a.reply <- unavailable(err.Error())
@@ -455,16 +455,16 @@
 		r.inFlight = nil
 	}
 	if b.err != nil || b.term != r.term {
-		err := failf("commit", KindUnknown, "the term ended")
+		err := failf("commit", KindOutcomeUnknown, "the term ended")
 		if b.err != nil {
-			err = failf("commit", KindUnknown, "%w", b.err)
-			if r.group.Certain(b.err) {
+			err = failf("commit", KindOutcomeUnknown, "%w", b.err)
+			if r.group.NotApplied(b.err) {
 				err.Kind = KindNotLeader
 			}
 		}
 		r.failBatch(b, err)
 		if b.term == r.term {
-			r.reset(failf("commit", KindUnknown, "a change before it was not committed"))
+			r.reset(failf("commit", KindOutcomeUnknown, "a change before it was not committed"))
 			// The state is loaded again if this process still leads.
 			r.term, r.reloadAt = 0, now+maxConfirmationAgeMillis
 			r.wakeBy(now, r.reloadAt)
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -96,7 +96,7 @@
 	return g.term, g.leads
 }
 
-func (g *fakeGroup) Certain(err error) bool { return errors.Is(err, errNotLeader) }
+func (g *fakeGroup) NotApplied(err error) bool { return errors.Is(err, errNotLeader) }
 
 // set changes the group under its lock.
 func (g *fakeGroup) set(f func()) {
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -21,8 +21,8 @@
 	KindNotLeader Kind = iota
 	// KindBusy means that the input ring is full; nothing was done.
 	KindBusy
-	// KindUnknown means that the request may or may not have been carried out.
-	KindUnknown
+	// KindOutcomeUnknown means that the request may or may not have been carried out.
+	KindOutcomeUnknown
 	// KindStale means that the heartbeat was ignored because a later one of the
 	// same worker was received.
 	KindStale
@@ -55,9 +55,9 @@
 	Query(ctx context.Context, f func(*fleet.State)) error
 	// Leads returns the current term and whether this process leads in it.
 	Leads() (uint64, bool)
-	// Certain reports whether an error of Propose proves that the change was
+	// NotApplied reports whether an error of Propose proves that the change was
 	// not applied and never will be.
-	Certain(err error) bool
+	NotApplied(err error) bool
 }
 
 // Machines is the platform's interface to its machines.
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -195,9 +195,9 @@
 	return s.Term, s.Role == raft.RoleLeader
 }
 
-// Certain reports whether an error of Propose says that the change was not and
+// NotApplied reports whether an error of Propose says that the change was not and
 // will not be applied.
-func (m *seat) Certain(err error) bool {
+func (m *seat) NotApplied(err error) bool {
 	var n notLeading
 	var e *group.Error
 	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
