mover: rename FromPlan to StepFromPlan and Report to RecordDemand

The surge planner's Report records one kind of report, the demand, and is promoted into CapacityPlanner, where Report said too little. Renames only; go vet, wording-check and the tests of core/coord/mover pass.

--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -213,6 +213,6 @@
 	drainedBefore := m.registry.Processes[i.report.Process].Drained
 	m.registry.AddReport(*i.report, m.Clock.Now())
 	m.load.add(i.report.Load)
-	m.Capacity.Report(i.report.Process, i.report.Demand, m.Clock.Now())
+	m.Capacity.RecordDemand(i.report.Process, i.report.Demand, m.Clock.Now())
 	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != drainedBefore
 }
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -196,7 +196,7 @@
 func (m *Mover[G, P, C, J, A, S]) planSteps(plan maint.Plan, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for _, s := range plan.Steps {
-		if step, ok := FromPlan(s, m.table.Instances[s.Instance], m.registry, now); ok {
+		if step, ok := StepFromPlan(s, m.table.Instances[s.Instance], m.registry, now); ok {
 			steps = append(steps, step)
 		}
 	}
--- a/core/coord/mover/steps.go
+++ b/core/coord/mover/steps.go
@@ -94,9 +94,9 @@
 	return sortAndLimit(steps)
 }
 
-// FromPlan converts a step of a maintenance plan into a step of the replicated
+// StepFromPlan converts a step of a maintenance plan into a step of the replicated
 // log. ok is false for plan steps that don't change the instance there.
-func FromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
+func StepFromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
 	next := i
 	next.Reason = s.Reason
 	switch s.Kind {
--- a/core/coord/mover/surgeplanner.go
+++ b/core/coord/mover/surgeplanner.go
@@ -55,8 +55,8 @@
 	s.reasons = nil
 }
 
-// Report records the demand that an entry process reported at now.
-func (s *SurgePlanner[S]) Report(p model.Process, pools []model.PoolDemand, now clock.Millis) {
+// RecordDemand records the demand that an entry process reported at now.
+func (s *SurgePlanner[S]) RecordDemand(p model.Process, pools []model.PoolDemand, now clock.Millis) {
 	previous, known := s.processes[p]
 	interval := now - previous.receivedAt
 	if !known || interval <= 0 {
