--- a/core/coord/entry/admission.go
+++ b/core/coord/entry/admission.go
@@ -104,19 +104,19 @@
 
 // grant answers a request with a grant of a reserved slot.
 func (d *Dispatcher[P, Q, L]) grant(req *pendingRequest, q *admit.Queue[*pendingRequest], slot reservation) {
-	var n uint32
+	var index uint32
 	if last := len(d.freeGrants) - 1; last >= 0 {
-		n = d.freeGrants[last]
+		index = d.freeGrants[last]
 		d.freeGrants = d.freeGrants[:last]
 	} else {
-		n = uint32(len(d.grants))
+		index = uint32(len(d.grants))
 		d.grants = append(d.grants, activeGrant{})
 	}
-	g := &d.grants[n]
+	g := &d.grants[index]
 	g.queue, g.reservation, g.id = q, slot, req.request.ID
 	g.number++
 	d.counts.Grants++
-	req.grant = Grant{Ticket: Ticket(g.number)<<32 | Ticket(n), Upstream: slot.upstream(req.request.Deadline)}
+	req.grant = Grant{Ticket: Ticket(g.number)<<32 | Ticket(index), Upstream: slot.upstream(req.request.Deadline)}
 	req.refusal = nil
 	req.reply <- struct{}{}
 }
@@ -151,14 +151,14 @@
 		}
 	}
 	d.load.countRun(g.queue.Customer.Name, g.instance(), m.outcome)
-	full := !g.queue.CanRun()
+	atLimit := !g.queue.CanRun()
 	d.admission.End(g.queue, elapsed)
 	if d.release(now, g.reservation, m.outcome) {
 		d.counts.Ejections++
 		d.event(model.Event{Kind: model.EventEjected, Instance: g.instance(), Pool: g.queue.Pool, Limit: "failures"})
 	}
 	d.startWaiting(now, g.queue.Pool)
-	if full && g.queue.Customer.Waiting > 0 {
+	if atLimit && g.queue.Customer.Waiting > 0 {
 		// The customer was at its limit, which blocked its requests in other pools
 		// as well.
 		d.startAllWaiting(now)
--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -22,7 +22,7 @@
 }
 
 func benchmarkAsk(b *testing.B, lease clock.Millis) {
-	d := startWith(b, Settings{
+	d := startWithSettings(b, Settings{
 		Self: "e1", Zone: "z1", Entries: []model.Member{{Name: "e1", Zone: "z1"}}, Lease: clock.Minute,
 		Lending:      lend.Settings{Self: "e1", Zone: "z1", Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
 		LoanMessages: ring.New[lend.Message](16),
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -60,9 +60,9 @@
 	return &Refusal{Kind: RefusalNotReady, Reason: "the process is stopping", RetryAfter: clock.Second}
 }
 
-// Done releases a grant; o says how the request ended, after elapsed. Done
-// waits while the ring is full, so that no end of a request is lost while Run is
-// running.
+// Done releases a grant; o is the outcome of the request and elapsed its duration.
+// Done waits while the ring is full, so that no end of a request is lost while Run
+// is running.
 func (d *Dispatcher[P, Q, L]) Done(t Ticket, o Outcome, elapsed clock.Millis) {
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
@@ -83,8 +83,8 @@
 // ReceiveAnnouncement handles an announcement that was received from the upstream
 // itself or from a neighbour. It fails with KindAnnounce when the announcement is
 // refused.
-func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(h member.ReceivedAnnouncement) error {
-	return d.call(&command{op: opReceiveAnnouncement, announcement: h}).err
+func (d *Dispatcher[P, Q, L]) ReceiveAnnouncement(a member.ReceivedAnnouncement) error {
+	return d.call(&command{op: opReceiveAnnouncement, announcement: a}).err
 }
 
 // AnnouncementsSince returns the announcements that were received from upstreams
@@ -97,11 +97,11 @@
 
 // Drained returns the drained version: the highest version of the table such that
 // no request in flight uses an instance released at or below it.
-func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drained.Load()) }
+func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drainedCopy.Load()) }
 
 // Ready reports whether requests are admitted: a table was applied, and it was
 // confirmed after the last pause of this process.
-func (d *Dispatcher[P, Q, L]) Ready() bool { return d.serving.Load() }
+func (d *Dispatcher[P, Q, L]) Ready() bool { return d.readyCopy.Load() }
 
 // Snapshot returns a copy of the state. Its cost is proportional to the number of
 // customers and upstreams.
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -52,8 +52,8 @@
 	reply chan struct{}
 }
 
-// command executes a command in the event loop.
-func (d *Dispatcher[P, Q, L]) command(now clock.Millis, c *command) {
+// execute executes a execute in the event loop.
+func (d *Dispatcher[P, Q, L]) execute(now clock.Millis, c *command) {
 	switch c.op {
 	case opApplyDelta:
 		c.err = d.applyDelta(now, c.delta)
@@ -99,12 +99,12 @@
 	}
 	d.router.Version = d.table.Version
 	for _, i := range delta.Instances {
-		d.countSlots(i.ID, i)
+		d.countInstance(i.ID, i)
 		d.router.SetInstance(now, i, old.Version)
 		d.loans.EndLoansOf(i)
 	}
 	for _, id := range delta.RemovedInstances {
-		d.countSlots(id, model.Instance{})
+		d.countInstance(id, model.Instance{})
 		d.router.RemoveInstance(now, id, old.Version)
 		d.loans.EndLoansOf(model.Instance{ID: id, Phase: model.PhaseRetired})
 	}
@@ -128,21 +128,21 @@
 // removedByFullDelta returns the contracts and instances of the table that a full
 // delta no longer contains.
 func removedByFullDelta(t model.Table, delta model.Delta) (contracts []model.Customer, instances []model.InstanceID) {
-	named := make(map[model.Customer]bool, len(delta.Contracts))
+	keptContracts := make(map[model.Customer]bool, len(delta.Contracts))
 	for _, c := range delta.Contracts {
-		named[c.Customer] = true
+		keptContracts[c.Customer] = true
 	}
 	for c := range t.Contracts {
-		if !named[c] {
+		if !keptContracts[c] {
 			contracts = append(contracts, c)
 		}
 	}
-	listed := make(map[model.InstanceID]bool, len(delta.Instances))
+	keptInstances := make(map[model.InstanceID]bool, len(delta.Instances))
 	for _, i := range delta.Instances {
-		listed[i.ID] = true
+		keptInstances[i.ID] = true
 	}
 	for id := range t.Instances {
-		if !listed[id] {
+		if !keptInstances[id] {
 			instances = append(instances, id)
 		}
 	}
@@ -151,7 +151,7 @@
 
 // setContract sets this process's share of a contract's limits.
 func (d *Dispatcher[P, Q, L]) setContract(c model.Contract) {
-	share := admit.LimitOf(c, d.slotsOf).Divide(d.processRank, d.processCount)
+	share := admit.LimitOf(c, d.minSlots).Divide(d.processRank, d.processCount)
 	d.refuseAll(d.admission.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPool)
 }
 
@@ -171,7 +171,7 @@
 	}
 }
 
-// countedInstance holds the values with which countSlots counted an instance.
+// countedInstance holds the values with which countInstance counted an instance.
 type countedInstance struct {
 	pool  model.Pool
 	slots int
@@ -179,9 +179,9 @@
 	zone model.Zone
 }
 
-// countSlots updates slotCounts and servingByZone for a changed instance; i is zero
-// when the instance was removed.
-func (d *Dispatcher[P, Q, L]) countSlots(id model.InstanceID, i model.Instance) {
+// countInstance updates slotCounts and servingByZone for a changed instance; i is
+// zero when the instance was removed.
+func (d *Dispatcher[P, Q, L]) countInstance(id model.InstanceID, i model.Instance) {
 	if old, ok := d.countedInstances[id]; ok {
 		d.slotCounts[old.pool][old.slots]--
 		if d.slotCounts[old.pool][old.slots] == 0 {
@@ -219,11 +219,11 @@
 	}
 }
 
-// slotsOf returns the slots of the smallest instance of a pool, by the rule of
-// limits.LowestSlots: the derived concurrency must fit whichever instances are in
+// minSlots returns the slots of the smallest instance of a pool, by the rule of
+// limits.MinSlots: the derived concurrency must fit whichever instances are in
 // service. It depends on the table alone, so that all entry processes at the same
 // version derive the same limits.
-func (d *Dispatcher[P, Q, L]) slotsOf(p model.Pool) int {
+func (d *Dispatcher[P, Q, L]) minSlots(p model.Pool) int {
 	if len(d.slotCounts[p]) == 0 {
 		return admit.DefaultSlots
 	}
@@ -231,16 +231,16 @@
 }
 
 // receiveAnnouncement handles an announcement of an upstream.
-func (d *Dispatcher[P, Q, L]) receiveAnnouncement(now clock.Millis, h member.ReceivedAnnouncement) error {
-	previous, known := d.announcements.Get(h.Announcement.Instance)
-	changed, err := d.announcements.Accept(now, h)
+func (d *Dispatcher[P, Q, L]) receiveAnnouncement(now clock.Millis, received member.ReceivedAnnouncement) error {
+	previous, known := d.announcements.Get(received.Announcement.Instance)
+	changed, err := d.announcements.Accept(now, received)
 	if err != nil {
 		return &Error{Op: "announce", Kind: KindAnnounce, Err: err}
 	}
 	if !changed {
 		return nil
 	}
-	a := h.Announcement
+	a := received.Announcement
 	d.router.SetAnnouncement(now, a, true)
 	e := model.Event{Kind: model.EventUpstreamUp, Instance: a.Instance, Pool: a.Pool, Detail: a.Address}
 	if a.State == model.AnnounceLeaving {
--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -19,7 +19,7 @@
 
 func (d *Dispatcher[P, Q, L]) demand() []model.PoolDemand {
 	byPool := map[model.Pool]*model.PoolDemand{}
-	of := func(p model.Pool) *model.PoolDemand {
+	demandOf := func(p model.Pool) *model.PoolDemand {
 		x := byPool[p]
 		if x == nil {
 			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.admission.TypicalRunTime(p)}
@@ -29,21 +29,21 @@
 	}
 	d.router.Each(func(u *route.Upstream) {
 		if u.Running > 0 && u.Pool != "" {
-			of(u.Pool).Running += u.Running
+			demandOf(u.Pool).Running += u.Running
 		}
 	})
 	d.loans.EachHeld(func(h *lend.HeldLoan) {
 		if h.Running > 0 {
-			of(h.Pool).Running += h.Running
+			demandOf(h.Pool).Running += h.Running
 		}
 	})
 	d.admission.EachCustomer(func(a *admit.CustomerState[*pendingRequest]) {
 		if a.Waiting > 0 {
-			a.EachWaiting(func(p model.Pool, n int) { of(p).Waiting += n })
+			a.EachWaiting(func(p model.Pool, n int) { demandOf(p).Waiting += n })
 		}
 	})
 	for p, n := range d.load.refusedByPool {
-		of(p).Refused += n
+		demandOf(p).Refused += n
 	}
 	clear(d.load.refusedByPool)
 	all := make([]model.PoolDemand, 0, len(byPool))
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -83,22 +83,23 @@
 	done        chan struct{}
 	stop        sync.Once
 	requestPool sync.Pool
-	// drained and serving are copies of the state for other
-	// goroutines.
-	drained       atomic.Uint64
-	serving       atomic.Bool
+	// drainedCopy and readyCopy are copies of the drained version and of
+	// ready for other goroutines.
+	drainedCopy   atomic.Uint64
+	readyCopy     atomic.Bool
 	admission     *admit.Controller[P, *pendingRequest]
 	router        *route.Router[Q]
 	announcements *member.Roster
 	loans         *lend.Ledger[L]
-	// borrowing holds the pools with held loans, to report changes as events.
+	// borrowing records for each pool whether slots were borrowed when
+	// reportBorrowing last ran.
 	borrowing map[model.Pool]bool
-	// peaksRolledAt is the time at which the router last started a new peak window.
-	peaksRolledAt clock.Millis
-	needs         []lend.PoolDemand
-	loanMessages  []lend.Message
-	ownSlots      []lend.UpstreamSlots
-	table         model.Table
+	// peaksRotatedAt is the time at which the router last started a new peak window.
+	peaksRotatedAt clock.Millis
+	poolDemands    []lend.PoolDemand
+	loanMessages   []lend.Message
+	ownSlots       []lend.UpstreamSlots
+	table          model.Table
 	// ready is false before the first table, and after a pause of this process
 	// until the table is confirmed.
 	ready bool
@@ -197,8 +198,8 @@
 
 // publish updates the values that other goroutines read without a message.
 func (d *Dispatcher[P, Q, L]) publish() {
-	d.drained.Store(uint64(d.router.DrainedVersion()))
-	d.serving.Store(d.ready)
+	d.drainedCopy.Store(uint64(d.router.DrainedVersion()))
+	d.readyCopy.Store(d.ready)
 }
 
 // Stop ends Run. Waiting requests are refused.
@@ -223,7 +224,7 @@
 	case messageDone:
 		d.complete(now, m)
 	case messageCommand:
-		d.command(now, m.command)
+		d.execute(now, m.command)
 	}
 }
 
@@ -285,7 +286,8 @@
 	}
 }
 
-// event writes an event to the event log.
+// event writes an event to the event log. It is dropped when the log's ring is
+// full.
 func (d *Dispatcher[P, Q, L]) event(e model.Event) {
 	if d.cfg.Events != nil {
 		e.Process = d.cfg.Self
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -17,23 +17,23 @@
 	"gotest.tools/v3/poll"
 )
 
-type dispatcher = Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
+type testDispatcher = Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // start runs a dispatcher with a pool svc of two upstreams, each with the given
 // number of slots.
-func start(t testing.TB, slots int, contracts ...model.Contract) *dispatcher {
+func start(t testing.TB, slots int, contracts ...model.Contract) *testDispatcher {
 	t.Helper()
-	return startOn(t, clock.Real(), slots, contracts...)
+	return startWithClock(t, clock.Real(), slots, contracts...)
 }
 
-func startOn(t testing.TB, clk clock.Clock, slots int, contracts ...model.Contract) *dispatcher {
+func startWithClock(t testing.TB, clk clock.Clock, slots int, contracts ...model.Contract) *testDispatcher {
 	t.Helper()
-	return startWith(t, Settings{
+	return startWithSettings(t, Settings{
 		Self: "e1", Zone: "z1", Entries: []model.Member{{Name: "e1", Zone: "z1"}}, Lease: clock.Minute,
 	}, clk, slots, contracts...)
 }
 
-func startWith(t testing.TB, cfg Settings, clk clock.Clock, slots int, contracts ...model.Contract) *dispatcher {
+func startWithSettings(t testing.TB, cfg Settings, clk clock.Clock, slots int, contracts ...model.Contract) *testDispatcher {
 	t.Helper()
 	d := New(cfg, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	ended := make(chan struct{})
@@ -58,18 +58,18 @@
 	}
 }
 
-func try(ctx context.Context, d *dispatcher) (Grant, *Refusal) {
+func ask(ctx context.Context, d *testDispatcher) (Grant, *Refusal) {
 	return d.Ask(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
 }
 
-func must(t testing.TB, d *dispatcher) Grant {
+func mustAsk(t testing.TB, d *testDispatcher) Grant {
 	t.Helper()
-	g, f := try(t.Context(), d)
+	g, f := ask(t.Context(), d)
 	assert.Assert(t, f == nil, "%+v", f)
 	return g
 }
 
-func until(t testing.TB, what string, ok func(Status) bool, d *dispatcher) {
+func waitUntil(t testing.TB, what string, ok func(Status) bool, d *testDispatcher) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if ok(d.Snapshot()) {
@@ -83,17 +83,17 @@
 // when a slot becomes free.
 func TestWaiterGetsTheFreedSlot(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
-	first, second := must(t, d), must(t, d)
+	first, second := mustAsk(t, d), mustAsk(t, d)
 	assert.Assert(t, first.Upstream.Instance != second.Upstream.Instance)
 	got := make(chan Grant)
-	go func() { got <- must(t, d) }()
-	until(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
+	go func() { got <- mustAsk(t, d) }()
+	waitUntil(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
 	d.Done(first.Ticket, OutcomeOK, 1)
 	third := <-got
 	assert.Equal(t, third.Upstream, first.Upstream)
 	// A second Done for a ticket changes nothing.
 	d.Done(first.Ticket, OutcomeOK, 1)
-	until(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
+	waitUntil(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
 }
 
 // TestCancelLosesNoSlot guards against slots that are never freed because the
@@ -105,7 +105,7 @@
 		wg.Go(func() {
 			for k := range 300 {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((w*k)%200)*time.Microsecond)
-				if g, f := try(ctx, d); f == nil {
+				if g, f := ask(ctx, d); f == nil {
 					d.Done(g.Ticket, OutcomeOK, 0)
 				}
 				cancel()
@@ -113,7 +113,7 @@
 		})
 	}
 	wg.Wait()
-	until(t, "all ended", func(s Status) bool { return s.Counts.Completed == s.Counts.Grants }, d)
+	waitUntil(t, "all ended", func(s Status) bool { return s.Counts.Completed == s.Counts.Grants }, d)
 	s := d.Snapshot()
 	assert.Equal(t, s.Customers[0].Running+s.Customers[0].Waiting, 0)
 	for _, u := range s.Upstreams {
@@ -126,7 +126,7 @@
 // against refusals with the wrong kind.
 func TestRefusals(t *testing.T) {
 	d := start(t, 1, contract("acme", 1, 0), contract("idle", 0, 0))
-	g := must(t, d)
+	g := mustAsk(t, d)
 	for _, c := range []struct {
 		r    Request
 		kind RefusalKind
@@ -151,10 +151,10 @@
 	a.Instance, a.Address = "ib", "10.0.0.1:ib"
 	assert.NilError(t, d.Announce(a))
 	d.Done(g2.Ticket, OutcomeOK, 1)
-	_, f = try(t.Context(), d)
+	_, f = ask(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalCapacity, f.Reason)
 	d.Stop()
-	_, f = try(t.Context(), d)
+	_, f = ask(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalNotReady)
 }
 
@@ -162,14 +162,14 @@
 // answered when their pool loses its last upstream.
 func TestWaitersOfAnEmptyPoolAreRefused(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
-	must(t, d)
-	must(t, d)
+	mustAsk(t, d)
+	mustAsk(t, d)
 	got := make(chan *Refusal)
 	go func() {
-		_, f := try(context.Background(), d)
+		_, f := ask(context.Background(), d)
 		got <- f
 	}()
-	until(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
+	waitUntil(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
 	for _, id := range []model.InstanceID{"ia", "ib"} {
 		a := announcement(id, 1)
 		a.State = model.AnnounceLeaving
@@ -185,7 +185,7 @@
 	for range 2 {
 		assert.Assert(t, d.in.TryPut(message{kind: messageDone}))
 	}
-	_, f := try(t.Context(), d)
+	_, f := ask(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalBusy)
 	assert.Equal(t, d.in.Refused(), int64(1))
 }
@@ -195,7 +195,7 @@
 func TestTableAndDrained(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
 	assert.Equal(t, d.Drained(), model.Version(5))
-	g := must(t, d)
+	g := mustAsk(t, d)
 	i := instance(g.Upstream.Instance, 1)
 	i.Phase, i.Version = model.PhaseReleasing, 8
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
@@ -204,38 +204,38 @@
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
 	assert.Equal(t, d.Table().Version, model.Version(8))
-	other := must(t, d)
+	other := mustAsk(t, d)
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	until(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
 	// A full delta without the instance in use releases it.
 	assert.NilError(t, d.ApplyDelta(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
 	assert.Equal(t, d.Drained(), model.Version(8))
 	d.Done(other.Ticket, OutcomeOK, 1)
-	until(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
 }
 
-// TestPauseNeedsTheTableAgain guards against a suspended process that resumes with
-// an outdated table, and against one that treats all upstreams as gone when it
+// TestPauseRequiresConfirmedTable guards against a suspended process that resumes
+// with an outdated table, and against one that treats all upstreams as gone when it
 // resumes.
-func TestPauseNeedsTheTableAgain(t *testing.T) {
+func TestPauseRequiresConfirmedTable(t *testing.T) {
 	fake := clock.NewFake(1000)
-	d := startOn(t, fake.Clock(), 4, contract("acme", 10, 10))
-	must(t, d)
+	d := startWithClock(t, fake.Clock(), 4, contract("acme", 10, 10))
+	mustAsk(t, d)
 	fake.Advance(10 * clock.Minute)
-	_, f := try(t.Context(), d)
+	_, f := ask(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalNotReady)
-	until(t, "not ready", func(Status) bool { return !d.Ready() }, d)
+	waitUntil(t, "not ready", func(Status) bool { return !d.Ready() }, d)
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 5}))
 	assert.Assert(t, d.Ready())
-	must(t, d)
+	mustAsk(t, d)
 	// Without announcements the upstreams expire one lease after the pause.
 	for range 62 {
 		fake.Advance(clock.Second)
-		until(t, "tick", func(s Status) bool { return s.Pauses == 1 }, d)
+		waitUntil(t, "tick", func(s Status) bool { return s.Pauses == 1 }, d)
 	}
-	until(t, "lapsed", func(Status) bool {
-		_, f := try(t.Context(), d)
+	waitUntil(t, "lapsed", func(Status) bool {
+		_, f := ask(t.Context(), d)
 		return f != nil && f.Kind == RefusalCapacity
 	}, d)
 }
--- a/core/coord/entry/load.go
+++ b/core/coord/entry/load.go
@@ -35,8 +35,8 @@
 	return n
 }
 
-// countRefusal counts a refusal that is caused by the fleet and not by a limit of
-// the contract.
+// countRefusal counts a refusal of kind k if it was caused by the fleet and not by a
+// limit of the contract.
 func (l *loadCounters) countRefusal(c model.Customer, p model.Pool, k RefusalKind) {
 	if k == RefusalCapacity || k == RefusalDeadline {
 		l.customer(c).Impaired++
@@ -61,7 +61,8 @@
 	}
 }
 
-// take returns the counts, sorted by customer and by instance, and resets them.
+// take returns the counts by customer and by instance, sorted by name, and resets
+// them.
 func (l *loadCounters) take() model.LoadReport {
 	var r model.LoadReport
 	for _, c := range l.customers {
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -32,12 +32,12 @@
 	return clear
 }
 
-// HandleResponse handles the response a to the loan request o that was sent at time
+// HandleResponse handles the response to the loan request m that was sent at
 // requestedAt; ok is false when there was no response.
-func (d *Dispatcher[P, Q, L]) HandleResponse(o lend.Message, requestedAt clock.Millis, a lend.LoanResponse, ok bool) {
+func (d *Dispatcher[P, Q, L]) HandleResponse(m lend.Message, requestedAt clock.Millis, response lend.LoanResponse, ok bool) {
 	d.withLoans(func(now clock.Millis) {
-		d.loans.HandleResponse(now, o, requestedAt, a, ok)
-		for _, l := range a.Loans {
+		d.loans.HandleResponse(now, m, requestedAt, response, ok)
+		for _, l := range response.Loans {
 			// This process's table may be newer than the lender's.
 			if i, known := d.table.Instances[l.Instance]; known {
 				d.loans.EndLoansOf(i)
@@ -46,9 +46,9 @@
 	})
 }
 
-// HandleReturnResult records whether the return of loans in o was received.
-func (d *Dispatcher[P, Q, L]) HandleReturnResult(o lend.Message, ok bool) {
-	d.withLoans(func(clock.Millis) { d.loans.HandleReturnResult(o, ok) })
+// HandleReturnResult records whether the return of loans in m was received.
+func (d *Dispatcher[P, Q, L]) HandleReturnResult(m lend.Message, ok bool) {
+	d.withLoans(func(clock.Millis) { d.loans.HandleReturnResult(m, ok) })
 }
 
 // HandleRecallAck records that the process from holds no loans of an earlier run of
@@ -96,20 +96,20 @@
 	}
 	d.loans.Expire(now)
 	d.syncLoans(now)
-	if now-d.peaksRolledAt >= peakWindow {
-		d.peaksRolledAt = now
+	if now-d.peaksRotatedAt >= peakWindow {
+		d.peaksRotatedAt = now
 		d.router.RotatePeaks()
 	}
-	d.needs = d.needs[:0]
+	d.poolDemands = d.poolDemands[:0]
 	d.pools = d.admission.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
 		if n := d.admission.RunnableCount(p); n > 0 {
-			d.needs = append(d.needs, lend.PoolDemand{Pool: p, InstancesByZone: d.servingByZone[p], Pressure: lend.Pressure{
+			d.poolDemands = append(d.poolDemands, lend.PoolDemand{Pool: p, InstancesByZone: d.servingByZone[p], Pressure: lend.Pressure{
 				Waiting: n, Capacity: d.capacity(now, p), TypicalRunTime: d.admission.TypicalRunTime(p),
 			}})
 		}
 	}
-	d.loanMessages = d.loans.DueMessages(now, d.needs, d.loanMessages[:0])
+	d.loanMessages = d.loans.DueMessages(now, d.poolDemands, d.loanMessages[:0])
 	for i, m := range d.loanMessages {
 		if !d.cfg.LoanMessages.TryPut(m) {
 			d.failMessage(now, m)
@@ -193,7 +193,7 @@
 	return r.own.Upstream.Instance
 }
 
-// upstream returns where a request with the given deadline is sent.
+// upstream returns the destination of a request with the given deadline.
 func (r reservation) upstream(deadline clock.Millis) Upstream {
 	if l := r.loan; l != nil {
 		return Upstream{
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -15,7 +15,7 @@
 
 // startLending runs a dispatcher in zone z1 or z2 with one upstream in z1, and
 // returns it with the ring of its loan messages.
-func startLending(t *testing.T, self model.Process, zone model.Zone) (*dispatcher, *ring.Ring[lend.Message]) {
+func startLending(t *testing.T, self model.Process, zone model.Zone) (*testDispatcher, *ring.Ring[lend.Message]) {
 	t.Helper()
 	all := []model.Member{{Name: "e1", Zone: "z1"}, {Name: "e2", Zone: "z2"}}
 	messages := ring.New[lend.Message](16)
@@ -34,9 +34,9 @@
 	return d, messages
 }
 
-func nextMessage(o *ring.Ring[lend.Message], kind lend.MessageKind) lend.Message {
+func nextMessage(messages *ring.Ring[lend.Message], kind lend.MessageKind) lend.Message {
 	for {
-		if next := <-o.C(); next.Kind == kind {
+		if next := <-messages.C(); next.Kind == kind {
 			return next
 		}
 	}
@@ -56,7 +56,7 @@
 	nextMessage(messages, lend.MessageRecall)
 	d.HandleRecallAck("e2")
 	assert.Equal(t, d.Drained(), model.Version(5))
-	g := must(t, d)
+	g := mustAsk(t, d)
 	assert.Equal(t, g.Upstream.Connections, 4)
 	loans := d.Lend(request).Loans
 	assert.Equal(t, len(loans), 1)
@@ -70,7 +70,7 @@
 	renew := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
 	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
 	d.HandleReturn(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
-	until(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
 }
 
 // TestBorrowerServesOnALoan guards against a process without upstreams that refuses
@@ -79,7 +79,7 @@
 func TestBorrowerServesOnALoan(t *testing.T) {
 	d, messages := startLending(t, "e2", "z2")
 	got := make(chan Grant, 1)
-	go func() { got <- must(t, d) }()
+	go func() { got <- mustAsk(t, d) }()
 	o := nextMessage(messages, lend.MessageRequest)
 	assert.Equal(t, o.To, model.Process("e1"))
 	d.HandleResponse(o, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
@@ -91,7 +91,7 @@
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
-	_, f := try(t.Context(), d)
+	_, f := ask(t.Context(), d)
 	assert.Equal(t, f.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -15,12 +15,12 @@
 
 // The kinds of error.
 const (
-	// KindStopped: the dispatcher has stopped.
+	// KindStopped means that the dispatcher has stopped.
 	KindStopped Kind = iota
-	// KindVersion: the delta would lower the version of the table or doesn't start
-	// at it.
+	// KindVersion means that the delta would lower the version of the table or
+	// doesn't start at it.
 	KindVersion
-	// KindAnnounce: the announcement was refused; Err is a *member.Error.
+	// KindAnnounce means that the announcement was refused; Err is a *member.Error.
 	KindAnnounce
 )
 
@@ -61,7 +61,7 @@
 	LoanMessages *ring.Ring[lend.Message]
 }
 
-// Request describes a request for which a grant is asked.
+// Request describes a request that needs a grant.
 type Request struct {
 	Customer model.Customer
 	Pool     model.Pool
@@ -78,7 +78,7 @@
 // Ticket identifies a grant until Done is called for it.
 type Ticket uint64
 
-// Upstream is where a granted request goes.
+// Upstream is the destination of a granted request.
 type Upstream struct {
 	Instance    model.InstanceID
 	Address     string
@@ -105,19 +105,21 @@
 
 // The kinds of refusal.
 const (
-	// RefusalNoContract: no contract of the customer covers the pool.
+	// RefusalNoContract means that no contract of the customer covers the pool.
 	RefusalNoContract RefusalKind = iota
-	// RefusalLimit: a limit of the contract is reached.
+	// RefusalLimit means that a limit of the contract is reached.
 	RefusalLimit
-	// RefusalDeadline: the request can't finish before its deadline.
+	// RefusalDeadline means that the request can't finish before its deadline.
 	RefusalDeadline
-	// RefusalCapacity: no upstream of the pool is available here.
+	// RefusalCapacity means that no upstream of the pool is available to this
+	// process.
 	RefusalCapacity
-	// RefusalNotReady: this process has no confirmed table, or is stopping.
+	// RefusalNotReady means that this process has no confirmed table, or is
+	// stopping.
 	RefusalNotReady
-	// RefusalBusy: the ring of the dispatcher is full.
+	// RefusalBusy means that the ring of the dispatcher is full.
 	RefusalBusy
-	// RefusalCancelled: the caller's context was cancelled.
+	// RefusalCancelled means that the caller's context was cancelled.
 	RefusalCancelled
 )
 
@@ -164,6 +166,7 @@
 // Status is a copy of the dispatcher's state.
 type Status struct {
 	Version model.Version
+	// Drained is the drained version; see Dispatcher.Drained.
 	Drained model.Version
 	Ready   bool
 	// Pauses counts the detected pauses of this process.
