follow, claim, lender, roster: plainer names for fields and parameters

The poller's aloneDelay applied although neighbours answer; it is fallbackDelay now. The claimer's run is the incarnation, as everywhere else, and the lender's parameters no longer carry letters of older type names.

--- a/core/coord/claim/claimer.go
+++ b/core/coord/claim/claimer.go
@@ -73,8 +73,8 @@
 type Claimer[P Proposer] struct {
 	// Owner is the entry process that owns the claims.
 	Owner model.Process
-	// run is the incarnation of the owner.
-	run          uint64
+	// incarnation identifies the run of the owner; later runs have higher ones.
+	incarnation  uint64
 	proposer     P
 	clock        clock.Clock
 	pending      *ring.Ring[pendingClaim]
@@ -84,12 +84,12 @@
 	outcomesDone chan struct{}
 }
 
-// New returns a claimer for the process owner with the incarnation run, which must
-// be larger than those of earlier runs. Claims are handled only while Run is running.
-func New[P Proposer](owner model.Process, run uint64, p P, c clock.Clock) *Claimer[P] {
+// New returns a claimer for the process owner, whose incarnation must be higher than
+// those of its earlier runs. Claims are handled only while Run is running.
+func New[P Proposer](owner model.Process, incarnation uint64, p P, c clock.Clock) *Claimer[P] {
 	return &Claimer[P]{
 		Owner:        owner,
-		run:          run,
+		incarnation:  incarnation,
 		proposer:     p,
 		clock:        c,
 		pending:      ring.New[pendingClaim](ringSize),
@@ -100,9 +100,10 @@
 	}
 }
 
-// Claim requests the exclusive right to run the request with key k. After an error
-// the request must not run; the claim may still be held or be granted later, and the
-// caller must release it with Finish.
+// Claim requests the exclusive right to run the request with key k. The token
+// identifies the attempt: a claim that was granted to the same token is granted again.
+// An error is an *Error. After it the request must not run; the claim may still be
+// held or be granted later, and the caller must release it with Finish.
 func (c *Claimer[P]) Claim(ctx context.Context, k model.ClaimKey, token string) (model.ClaimAnswer, error) {
 	reply := make(chan claimResult, 1)
 	p := pendingClaim{claim: model.Claim{Key: k, Token: token, Owner: c.Owner}, reply: reply}
@@ -186,7 +187,7 @@
 
 // newChange returns a change for claims of this run, without claims.
 func (c *Claimer[P]) newChange() model.Change {
-	return model.Change{Kind: model.ChangeClaims, Author: string(c.Owner), Process: c.Owner, Incarnation: c.run}
+	return model.Change{Kind: model.ChangeClaims, Author: string(c.Owner), Process: c.Owner, Incarnation: c.incarnation}
 }
 
 // announceRun proposes an empty change of this run. It tells the control group that
@@ -206,7 +207,8 @@
 	return c.proposer.Propose(ctx, change)
 }
 
-// runOutcomes proposes outcomes until Stop.
+// runOutcomes announces this run to the control group and then proposes outcomes
+// until Stop.
 func (c *Claimer[P]) runOutcomes() {
 	defer close(c.outcomesDone)
 	c.announceRun()
--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -16,15 +16,16 @@
 	WatchWait = 2 * clock.Second
 	// watchSlack is added to WatchWait for the timeout of a call.
 	watchSlack = clock.Second
-	// retryWait is the time between two rounds when no control member answers.
-	retryWait clock.Millis = 250
+	// retryDelay is the time between two rounds when no control member answers.
+	retryDelay clock.Millis = 250
 	// neighbourTimeout is the timeout of a call to a neighbour.
 	neighbourTimeout clock.Millis = 500
-	// aloneDelay is the time without an answer of a control member after which a
+	// fallbackDelay is the time without an answer of a control member after which a
 	// process without a table accepts one from its neighbours, and a process with a
-	// table goes on with it. It is a time and not a number of rounds, because a
-	// round over unresponsive members takes seconds.
-	aloneDelay = 5 * clock.Second
+	// table confirms it by itself if no neighbour answers either. It is a time and
+	// not a number of rounds, because a round over unresponsive members takes
+	// seconds.
+	fallbackDelay = 5 * clock.Second
 )
 
 // ApplyFunc applies a delta to the table of the process. It fails when the delta would
@@ -41,7 +42,7 @@
 	Table(ctx context.Context, m model.Member, from model.Version) (d model.Delta, ready bool, err error)
 }
 
-// Poller fetches the table.
+// Poller keeps the table of an entry process up to date.
 type Poller[S Source] struct {
 	Self model.Member
 	// ControlMembers lists the control members, those of the same zone first.
@@ -62,9 +63,9 @@
 	// lastAnswered is set when the last call to a control member was answered. The
 	// next member may then delay its answer.
 	lastAnswered bool
-	// aloneSince is the start of the first round without an answer of a control
-	// member; 0 after an answer.
-	aloneSince clock.Millis
+	// unansweredSince is the start of the first round in which no control member
+	// answered; 0 after an answer.
+	unansweredSince clock.Millis
 }
 
 // NewPoller returns a poller for the process self.
@@ -105,7 +106,7 @@
 			continue
 		}
 		select {
-		case <-p.clock.After(retryWait):
+		case <-p.clock.After(retryDelay):
 		case <-p.done:
 		}
 	}
@@ -117,11 +118,11 @@
 func (p *Poller[S]) round(ctx context.Context) bool {
 	start := p.clock.Now()
 	if p.pollControl(ctx) {
-		p.aloneSince = 0
+		p.unansweredSince = 0
 		return true
 	}
-	if p.aloneSince == 0 {
-		p.aloneSince = start
+	if p.unansweredSince == 0 {
+		p.unansweredSince = start
 	}
 	p.pollNeighbours(ctx)
 	return false
@@ -181,12 +182,12 @@
 }
 
 // pollNeighbours applies the neighbours' tables while no control member answers. A
-// process without a table tries control members for aloneDelay first. A process with
-// a table that gets no answer from anyone for aloneDelay confirms its own table,
-// because a partitioned zone must go on serving.
+// process without a table tries control members for fallbackDelay first. A process
+// with a table that gets no answer from anyone for fallbackDelay confirms its own
+// table, because a partitioned zone must go on serving.
 func (p *Poller[S]) pollNeighbours(ctx context.Context) {
-	aloneLongEnough := p.clock.Now()-p.aloneSince >= aloneDelay
-	if p.Version() == 0 && !aloneLongEnough {
+	mayFallBack := p.clock.Now()-p.unansweredSince >= fallbackDelay
+	if p.Version() == 0 && !mayFallBack {
 		return
 	}
 	answered := false
@@ -199,7 +200,7 @@
 		}
 		answered = p.applyDelta(d) || answered
 	}
-	if v := p.Version(); !answered && aloneLongEnough && v > 0 {
+	if v := p.Version(); !answered && mayFallBack && v > 0 {
 		p.applyDelta(model.Delta{From: v, To: v})
 	}
 }
--- a/core/coord/follow/poller_test.go
+++ b/core/coord/follow/poller_test.go
@@ -40,8 +40,8 @@
 	for p.Version() == 0 {
 		assert.Assert(t, clk.Now()-start <= 10*clock.Second, "no table after %d ms", clk.Now()-start)
 		assert.Assert(t, !p.round(context.Background()))
-		clk.Advance(retryWait)
+		clk.Advance(retryDelay)
 	}
-	assert.Assert(t, clk.Now()-start >= aloneDelay, "the neighbour's table was applied after only %d ms", clk.Now()-start)
+	assert.Assert(t, clk.Now()-start >= fallbackDelay, "the neighbour's table was applied after only %d ms", clk.Now()-start)
 	assert.Equal(t, p.Version(), model.Version(7))
 }
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -65,7 +65,7 @@
 type Reporter[R ReportSender] struct {
 	self           model.Member
 	incarnation    uint64
-	out            R
+	sender         R
 	status         func() Status
 	loadReport     func() model.LoadReport
 	demand         func() []model.PoolDemand
@@ -84,9 +84,9 @@
 }
 
 // NewReporter returns a reporter for the process self.
-func NewReporter[R ReportSender](self model.Member, incarnation uint64, out R, status func() Status, loadReport func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
+func NewReporter[R ReportSender](self model.Member, incarnation uint64, sender R, status func() Status, loadReport func() model.LoadReport, demand func() []model.PoolDemand, c clock.Clock) *Reporter[R] {
 	return &Reporter[R]{
-		self: self, incarnation: incarnation, out: out, status: status, loadReport: loadReport, demand: demand, clock: c,
+		self: self, incarnation: incarnation, sender: sender, status: status, loadReport: loadReport, demand: demand, clock: c,
 		done: make(chan struct{}), reported: map[model.InstanceID]model.Announcement{},
 	}
 }
@@ -123,7 +123,7 @@
 		rep.Load = r.loadReport()
 	}
 	full := !r.complete
-	term, err := r.out.Report(ctx, rep)
+	term, err := r.sender.Report(ctx, rep)
 	if err != nil {
 		r.complete = false
 		return
--- a/core/coord/lender/sender.go
+++ b/core/coord/lender/sender.go
@@ -12,9 +12,9 @@
 
 // Limits and timeouts of the sender.
 const (
-	// peerRing is the ring size per process. It is larger than the number of
-	// messages to one process that a ledger can have in flight.
-	peerRing = 16
+	// peerRingSize is the number of messages to one process that can wait. It is
+	// larger than the number that a ledger can have in flight to one process.
+	peerRingSize = 16
 	// callTimeout is the limit for one message. It is far below the remaining
 	// lease of a loan at the time of its renewal.
 	callTimeout clock.Millis = 250
@@ -28,7 +28,7 @@
 // was received.
 type Peers interface {
 	// Lend asks for loans, new ones or renewals.
-	Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error)
+	Lend(ctx context.Context, to model.Member, r lend.LoanRequest) (lend.LoanResponse, error)
 	// Return gives loans back to their lender.
 	Return(ctx context.Context, to model.Member, r lend.Return) error
 	// Recall asks a borrower to end the loans of this process's earlier runs. clear
@@ -38,11 +38,11 @@
 
 // LoanLedger receives the results of the messages.
 type LoanLedger interface {
-	// HandleResponse handles the response a to the loan request o that was sent at time
+	// HandleResponse handles the response to the loan request m that was sent at
 	// requestedAt; ok is false when there was no response.
-	HandleResponse(o lend.Message, requestedAt clock.Millis, a lend.LoanResponse, ok bool)
-	// HandleReturnResult records whether the return in o was received.
-	HandleReturnResult(o lend.Message, ok bool)
+	HandleResponse(m lend.Message, requestedAt clock.Millis, response lend.LoanResponse, ok bool)
+	// HandleReturnResult records whether the return of loans in m was received.
+	HandleReturnResult(m lend.Message, ok bool)
 	// HandleRecallAck records that the process from holds no loans of this process's
 	// earlier runs.
 	HandleRecallAck(from model.Process)
@@ -65,7 +65,7 @@
 	ledger      B
 	connections L
 	clock       clock.Clock
-	to          map[model.Process]peer
+	receivers   map[model.Process]peer
 	done        chan struct{}
 	ended       chan struct{}
 }
@@ -77,13 +77,13 @@
 }
 
 // New returns a sender that reads messages from in.
-func New[P Peers, B LoanLedger, L Connections](in *ring.Ring[lend.Message], entries []model.Member, p P, b B, l L, c clock.Clock) *Sender[P, B, L] {
+func New[P Peers, B LoanLedger, L Connections](in *ring.Ring[lend.Message], entries []model.Member, p P, ledger B, connections L, c clock.Clock) *Sender[P, B, L] {
 	s := &Sender[P, B, L]{
-		in: in, peers: p, ledger: b, connections: l, clock: c,
-		to: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
+		in: in, peers: p, ledger: ledger, connections: connections, clock: c,
+		receivers: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	for _, e := range entries {
-		s.to[e.Name] = peer{member: e, in: ring.New[lend.Message](peerRing)}
+		s.receivers[e.Name] = peer{member: e, in: ring.New[lend.Message](peerRingSize)}
 	}
 	return s
 }
@@ -94,13 +94,13 @@
 func (s *Sender[P, B, L]) Run() error {
 	defer close(s.ended)
 	var wg sync.WaitGroup
-	for _, p := range s.to {
+	for _, p := range s.receivers {
 		wg.Go(func() { s.runPeer(p) })
 	}
 	s.dispatch()
 	wg.Wait()
 	for _, m := range s.ledger.ReturnAllLoans() {
-		wg.Go(func() { s.deliver(context.Background(), s.to[m.To].member, m) })
+		wg.Go(func() { s.deliver(context.Background(), s.receivers[m.To].member, m) })
 	}
 	wg.Wait()
 	return nil
@@ -111,8 +111,8 @@
 	for {
 		select {
 		case m := <-s.in.C():
-			if p, ok := s.to[m.To]; !ok || !p.in.TryPut(m) {
-				s.fail(m)
+			if p, ok := s.receivers[m.To]; !ok || !p.in.TryPut(m) {
+				s.failMessage(m)
 			}
 		case <-s.done:
 			return
@@ -130,7 +130,7 @@
 // Refused returns the number of messages that were not sent because a ring was full.
 func (s *Sender[P, B, L]) Refused() int64 {
 	n := s.in.Refused()
-	for _, p := range s.to {
+	for _, p := range s.receivers {
 		n += p.in.Refused()
 	}
 	return n
@@ -153,7 +153,7 @@
 // connections of loans that the message returns.
 func (s *Sender[P, B, L]) deliver(ctx context.Context, to model.Member, m lend.Message) {
 	if !s.closeConnections(m.CloseConnections) {
-		s.fail(m)
+		s.failMessage(m)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
@@ -163,8 +163,8 @@
 	requestedAt := s.clock.Now()
 	switch m.Kind {
 	case lend.MessageRequest:
-		a, err := s.peers.Lend(ctx, to, m.Request)
-		s.ledger.HandleResponse(m, requestedAt, a, err == nil)
+		response, err := s.peers.Lend(ctx, to, m.Request)
+		s.ledger.HandleResponse(m, requestedAt, response, err == nil)
 	case lend.MessageReturn:
 		s.ledger.HandleReturnResult(m, s.peers.Return(ctx, to, m.Return) == nil)
 	case lend.MessageRecall:
@@ -189,8 +189,8 @@
 	}
 }
 
-// fail handles a message that was not sent as if it had not been answered.
-func (s *Sender[P, B, L]) fail(m lend.Message) {
+// failMessage handles a message that was not sent as if it had not been answered.
+func (s *Sender[P, B, L]) failMessage(m lend.Message) {
 	switch m.Kind {
 	case lend.MessageRequest:
 		s.ledger.HandleResponse(m, s.clock.Now(), lend.LoanResponse{}, false)
--- a/core/coord/lender/sender_test.go
+++ b/core/coord/lender/sender_test.go
@@ -23,13 +23,13 @@
 	open int
 }
 
-func (f *fake) Lend(ctx context.Context, to model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
+func (f *fake) Lend(ctx context.Context, to model.Member, r lend.LoanRequest) (lend.LoanResponse, error) {
 	if to.Name == "silent" {
 		close(f.silent)
 		<-ctx.Done()
 		return lend.LoanResponse{}, ctx.Err()
 	}
-	return lend.LoanResponse{Incarnation: a.Number}, nil
+	return lend.LoanResponse{Incarnation: r.Number}, nil
 }
 
 func (f *fake) Return(context.Context, model.Member, lend.Return) error { return nil }
@@ -46,20 +46,20 @@
 	return f.open <= 0
 }
 
-func (f *fake) HandleResponse(o lend.Message, requestedAt clock.Millis, a lend.LoanResponse, ok bool) {
+func (f *fake) HandleResponse(m lend.Message, requestedAt clock.Millis, response lend.LoanResponse, ok bool) {
 	switch {
 	case !ok:
-		f.results <- string(o.To) + " unanswered"
-	case requestedAt > 0 && a.Incarnation == o.Request.Number:
-		f.results <- string(o.To) + " answered"
+		f.results <- string(m.To) + " unanswered"
+	case requestedAt > 0 && response.Incarnation == m.Request.Number:
+		f.results <- string(m.To) + " answered"
 	}
 }
 
-func (f *fake) HandleReturnResult(o lend.Message, ok bool) {
+func (f *fake) HandleReturnResult(m lend.Message, ok bool) {
 	if ok && f.open <= 0 {
-		f.results <- string(o.To) + " returned"
+		f.results <- string(m.To) + " returned"
 	} else if !ok {
-		f.results <- string(o.To) + " not returned"
+		f.results <- string(m.To) + " not returned"
 	}
 }
 
@@ -88,9 +88,9 @@
 			assert.Assert(t, got == want || got == "silent unanswered", "%s", got)
 		}
 	}
-	next := func(o lend.Message, want string) {
+	next := func(m lend.Message, want string) {
 		t.Helper()
-		in.TryPut(o)
+		in.TryPut(m)
 		expect(want)
 	}
 	next(lend.Message{Kind: lend.MessageRequest, To: "a", Request: lend.LoanRequest{Number: 4}}, "a answered")
--- a/core/coord/roster/forwarder.go
+++ b/core/coord/roster/forwarder.go
@@ -13,8 +13,10 @@
 const (
 	// batchWait is how long the first announcement of a batch waits for others.
 	batchWait clock.Millis = 20
-	maxBatch  int          = 256
-	ringSize  int          = 1024
+	// maxBatch is the largest number of announcements in one batch.
+	maxBatch int = 256
+	// ringSize is the number of announcements to one neighbour that can wait.
+	ringSize int = 1024
 	// sendTimeout is the limit for sending one batch. A lost batch needs no retry:
 	// upstreams announce again after a third of their lease.
 	sendTimeout clock.Millis = 500
@@ -96,7 +98,7 @@
 	}
 }
 
-// send waits for more announcements, merges them into one batch and sends it. A
+// send waits for more announcements, collects them into one batch and sends it. A
 // later announcement of an instance replaces an earlier one.
 func (f *Forwarder[S]) send(p peer, first model.Announcement) {
 	select {
