runner: document sizes, counters and reasons, and rename what kept older words

Ring sizes, the counters of commits and Answer.Reason had no comment; the errors of Heartbeat say again that they may be of every kind.

--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -37,7 +37,7 @@
 		r.handleHeartbeat(in.heartbeat, in.reply, now)
 	case in.departure != nil:
 		if r.scheduler != nil {
-			r.scheduler.RemoveWorker(in.departure.worker, in.departure.life, now)
+			r.scheduler.RemoveWorker(in.departure.worker, in.departure.incarnation, now)
 		}
 	case in.action != nil:
 		if r.scheduler != nil && in.action.action.term == r.term {
@@ -70,6 +70,8 @@
 	}
 	ops := r.scheduler.PendingOps()
 	a := r.decideCall(c, now)
+	// A submission without a new operation repeats one whose operation may be part
+	// of an earlier batch.
 	uncertain := c.Kind == CallSubmit && r.scheduler.PendingOps() == ops
 	r.next.answers = append(r.next.answers, pendingAnswer{answer: a, reply: reply, uncertain: uncertain})
 	switch a.Kind {
@@ -113,8 +115,8 @@
 	case CallPing:
 		return Answer{}
 	case CallList:
-		lines, total := r.scheduler.List(maxListedJobs)
-		return Answer{Jobs: lines, Count: total}
+		summaries, total := r.scheduler.List(maxListedJobs)
+		return Answer{Jobs: summaries, Count: total}
 	}
 	if c.Queue != "" || c.JobID != "" {
 		return r.decideNamedCall(c, now)
@@ -189,8 +191,8 @@
 	return best, jobs.ID(path[len(best.Prefix):]), true
 }
 
-// runActions sends actions to the platform one at a time; several goroutines
-// run it.
+// runActions sends actions to the platform one at a time; actionSenders
+// goroutines run it.
 func (r *Runner[G, M, O, J]) runActions() {
 	for {
 		select {
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -14,6 +14,7 @@
 
 // Limits and timeouts of the runner.
 const (
+	// ringSize is the number of inputs that can wait.
 	ringSize = 4096
 	// commitTimeout is the limit for committing one batch. A leader that can't
 	// commit for this long has lost its quorum.
@@ -28,8 +29,11 @@
 	maxIdleMillis = clock.Second
 	// retryAfterMillis is the retry delay given to callers that found no leader.
 	retryAfterMillis clock.Millis = 500
-	actionSenders    int          = 4
-	actionRingSize   int          = 256
+	// actionSenders is the number of goroutines that send actions to the platform.
+	actionSenders int = 4
+	// actionRingSize is the number of actions that can wait for them. Further
+	// actions are treated as refused for now.
+	actionRingSize int = 256
 	// maxListedJobs is the largest number of jobs in an answer to CallList.
 	maxListedJobs int = 200
 	// actionTimeout is the limit for sending one action to the platform, on top
@@ -62,7 +66,7 @@
 	actions         *ring.Ring[pendingAction]
 	done            chan struct{}
 	ended           chan struct{}
-	once            sync.Once
+	stopOnce        sync.Once
 	publishedCounts atomic.Pointer[Counts]
 
 	// The fields below are used by Run's goroutine alone.
@@ -128,8 +132,8 @@
 
 // departure is the report that a worker ended by itself.
 type departure struct {
-	worker jobs.WorkerID
-	life   jobs.Incarnation
+	worker      jobs.WorkerID
+	incarnation jobs.Incarnation
 }
 
 type actionResult struct {
@@ -229,7 +233,7 @@
 }
 
 // Heartbeat passes a worker's heartbeat to the runner and waits for the answer.
-// An error is an *Error.
+// An error is an *Error of any of the kinds.
 func (r *Runner[G, M, O, J]) Heartbeat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
 	reply := make(chan heartbeatResult, 1)
 	h.ReceivedAt = r.clock.Now()
@@ -248,8 +252,8 @@
 
 // Leave reports that a worker ended by itself. It returns false when the ring
 // is full.
-func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, life jobs.Incarnation) bool {
-	return r.in.TryPut(input{departure: &departure{worker: id, life: life}})
+func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, incarnation jobs.Incarnation) bool {
+	return r.in.TryPut(input{departure: &departure{worker: id, incarnation: incarnation}})
 }
 
 // Leads reports whether this process leads.
@@ -259,7 +263,7 @@
 }
 
 // Stop ends Run; it may be called more than once.
-func (r *Runner[G, M, O, J]) Stop() { r.once.Do(func() { close(r.done) }) }
+func (r *Runner[G, M, O, J]) Stop() { r.stopOnce.Do(func() { close(r.done) }) }
 
 // Run is the event loop; it returns after Stop.
 func (r *Runner[G, M, O, J]) Run() error {
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -139,16 +139,16 @@
 	return r
 }
 
-// patience is the timeout of one call, far above what an answer takes.
-const patience = 10 * time.Second
+// testTimeout is the timeout of one call, and of ask; far above what an answer takes.
+const testTimeout = 10 * time.Second
 
 // ask repeats a call until its answer has the wanted kind, because the state is
-// loaded in the background. It fails the test after patience.
+// loaded in the background. It fails the test after testTimeout.
 func ask(t *testing.T, r *testRunner, want AnswerKind, c Call) Answer {
 	t.Helper()
 	var a Answer
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		a = r.Call(ctx, c)
 		cancel()
 		if a.Kind == want {
@@ -167,7 +167,7 @@
 }
 
 func sendHeartbeat(r *testRunner, seq int64) (HeartbeatReply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	return r.Heartbeat(ctx, sched.Heartbeat{
 		Worker: "w1", Incarnation: 1, Machine: "m1", Pool: "p", Seq: seq, Capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 4000},
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -63,7 +63,7 @@
 // Machines is the platform's interface to its machines.
 type Machines interface {
 	// Do sends an action to the platform and returns the platform's answer.
-	Do(ctx context.Context, o MachineAction) sched.Outcome
+	Do(ctx context.Context, a MachineAction) sched.Outcome
 }
 
 // MachineAction is an action that a leader asks the platform to carry out on a
@@ -181,7 +181,8 @@
 	// RetryAfter is the delay after which a caller may retry; set for
 	// AnswerUnavailable.
 	RetryAfter clock.Millis
-	Reason     string
+	// Reason says why the call was not carried out; empty for AnswerDone.
+	Reason string
 }
 
 // HeartbeatReply is the answer to a heartbeat.
@@ -199,8 +200,10 @@
 	Heartbeats      int64
 	StaleHeartbeats int64
 	Calls           int64
-	Batches         int64
-	Operations      int64
+	// Batches counts the commits that were started, including loads and
+	// confirmations of the leadership. Operations counts the operations in them.
+	Batches    int64
+	Operations int64
 	// Resets counts how often the scheduler's state was discarded, with the
 	// decisions that were not committed yet.
 	Resets int64
