mover: plainer comments on waits and registry, and names of locals

A Wait is described as what the mover can't do yet and says when it began; the registry says that announced instances may also lose their lost mark.

--- a/core/coord/mover/load.go
+++ b/core/coord/mover/load.go
@@ -10,8 +10,8 @@
 	// loadInterval is the time between two updates of the wave planner.
 	loadInterval = 5 * clock.Second
 	// loadDecay is the factor applied to the counts after each update, so that
-	// they cover about the last three minutes. Load peaks are shorter than a
-	// maintenance; counting over a peak alone made no difference to the waves.
+	// they cover about the last three minutes. A load peak is shorter than a
+	// maintenance, so that counts of the peak alone had no effect on the waves.
 	loadDecay = 0.97
 	// minRequests is the number of requests below which the failure share counts
 	// as 0.
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -14,6 +14,7 @@
 
 // Timing and sizes of the mover.
 const (
+	// ringSize is the number of reports and status queries that can wait.
 	ringSize int = 1024
 	// passInterval is the time between two passes when no report triggers one.
 	passInterval clock.Millis = 500
@@ -24,7 +25,7 @@
 	// counted from when no entry process reports it. The lease of its
 	// announcement has expired by then.
 	LossGrace = 2 * clock.Second
-	// callTimeout is the limit for one call of the group or the platform.
+	// callTimeout is the limit for one call to the group or the platform.
 	callTimeout clock.Millis = 2000
 	// rebootRetryInterval is the time after which a reboot is requested again
 	// when the instance has not restarted.
@@ -79,7 +80,7 @@
 	termStartedAt clock.Millis
 	// rebootRequestedAt holds the time of the last reboot request in this term.
 	rebootRequestedAt map[model.InstanceID]clock.Millis
-	// waits holds the obstacles found by the last pass.
+	// waits holds what the last pass could not do yet.
 	waits []Wait
 	// term is the last term in which this member led.
 	term uint64
@@ -157,8 +158,8 @@
 	return m.in.TryPut(input{report: &r})
 }
 
-// Status returns the latest reports of the entry processes and the obstacles of
-// the last pass. It is empty when ctx or Run has ended.
+// Status returns the latest reports of the entry processes and the waits of the
+// last pass. It is empty when ctx or Run has ended.
 func (m *Mover[G, P, C, J, A, S]) Status(ctx context.Context) Status {
 	answer := make(chan Status, 1)
 	if !m.in.PutWait(input{status: answer}, m.ended) {
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -43,8 +43,8 @@
 }
 
 type (
-	testMover = Mover[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
-	testParts = Config[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
+	testMover  = Mover[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
+	testConfig = Config[*fakeGroup, *fakePlatform, maint.FullSpeedPacer, maint.NeverStop, plan.Spread, plan.QueueOnly]
 )
 
 // world simulates a mover with a fleet and two entry processes in one zone.
@@ -75,7 +75,7 @@
 	set := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PressureRetryMillis: 1000}
 	waves := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
 	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurgePlanner(plan.QueueOnly{}, plan.Weights{}, false))
-	w.mover = New(testParts{
+	w.mover = New(testConfig{
 		Name: "c1", Entries: entries, Group: w.group, Platform: w.platform, Waves: waves,
 		Capacity: capacity, Clock: clk.Clock(), Events: func(e model.Event) {
 			e.Stamp.Wall, e.Process, e.Seq = clk.Now(), "c1", uint64(len(w.events)+1)
@@ -224,11 +224,11 @@
 	assert.Equal(t, w.instance("i8").ID, model.InstanceID("i8"), "the instance was not enrolled")
 }
 
-// TestQuietEntryHidesNoLoss guards against missing the loss of an instance
+// TestSilentProcessHidesNoLoss guards against missing the loss of an instance
 // because an entry process that reported it failed at the same time, and against
 // keeping an instance marked as lost once a process that was only frozen reports
 // it again.
-func TestQuietEntryHidesNoLoss(t *testing.T) {
+func TestSilentProcessHidesNoLoss(t *testing.T) {
 	w := newWorld(t)
 	w.frozen = "e2"
 	w.run(10 * clock.Second)
@@ -265,10 +265,10 @@
 	assert.Assert(t, !absent, "the zone is silent as a whole")
 }
 
-// TestRetireAndGone guards against an instance that is never retired because an
-// entry process that no longer exists can't confirm the release, and against
-// retiring an instance while an existing process has not confirmed.
-func TestRetireAndGone(t *testing.T) {
+// TestRetirementAfterProcessGone guards against an instance that is never retired
+// because an entry process that no longer exists can't confirm the release, and
+// against retiring an instance while an existing process has not confirmed.
+func TestRetirementAfterProcessGone(t *testing.T) {
 	w := newWorld(t)
 	w.drained["e2"] = w.group.state.Version
 	i := w.instance("i0")
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -45,9 +45,9 @@
 	m.waits = append(waits, m.planWaits(plan)...)
 	steps = append(steps, m.planSteps(plan, now)...)
 	if now-m.termStartedAt >= warmUpTime {
-		moves, gaps := m.Capacity.Moves(m.table, now)
+		moves, capacityWaits := m.Capacity.Moves(m.table, now)
 		steps = append(steps, moves...)
-		m.waits = append(m.waits, gaps...)
+		m.waits = append(m.waits, capacityWaits...)
 	}
 	if !m.propose(firstPerInstance(steps)) {
 		m.Capacity.Invalidate()
@@ -73,7 +73,7 @@
 // refresh applies the changes of the replicated state since the last pass. It
 // returns false when the state can't be read or the mover was reset.
 func (m *Mover[G, P, C, J, A, S]) refresh(now clock.Millis) bool {
-	ctx, cancel := m.deadline()
+	ctx, cancel := m.callContext()
 	defer cancel()
 	var c StateChanges
 	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.lastOutage) })
@@ -251,7 +251,7 @@
 }
 
 func (m *Mover[G, P, C, J, A, S]) reboot(i model.Instance) {
-	ctx, cancel := m.deadline()
+	ctx, cancel := m.callContext()
 	defer cancel()
 	detail := "asked the platform for a reboot"
 	if err := m.Platform.Reboot(ctx, i); err != nil {
@@ -278,7 +278,7 @@
 	if len(steps) == 0 {
 		return true
 	}
-	ctx, cancel := m.deadline()
+	ctx, cancel := m.callContext()
 	defer cancel()
 	r, err := m.Group.Propose(ctx, model.Change{Kind: model.ChangeInstances, Author: m.Name, Instances: steps})
 	if err != nil || r.Kind != model.ResultApplied {
@@ -293,7 +293,7 @@
 	return true
 }
 
-// deadline returns a context for one call of the group or the platform.
-func (m *Mover[G, P, C, J, A, S]) deadline() (context.Context, context.CancelFunc) {
+// callContext returns a context for one call to the group or the platform.
+func (m *Mover[G, P, C, J, A, S]) callContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), callTimeout.Duration())
 }
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -34,8 +34,8 @@
 	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
 	// NewlyAnnounced holds the instances that were announced since the last
-	// ClearEnrolled and may have to be enrolled. It keeps the cost of a pass
-	// proportional to the changes.
+	// ClearEnrolled, to enrol them or to clear their lost mark. It keeps the cost
+	// of a pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds the instances of the fleet that no entry process reports, or
 	// only silent ones, with the time since when.
@@ -56,7 +56,8 @@
 	Announcement model.Announcement
 	// ReportedBy holds the entry processes that report the instance; never empty.
 	ReportedBy map[model.Process]bool
-	Since      clock.Millis
+	// Since is the time since when at least one entry process reports it.
+	Since clock.Millis
 }
 
 // NewRegistry returns an empty registry.
--- a/core/coord/mover/steps.go
+++ b/core/coord/mover/steps.go
@@ -12,14 +12,15 @@
 // MaxSteps is the largest number of instance steps in one change.
 const MaxSteps = 64
 
-// Wait is an obstacle that keeps a step or a goal of the mover waiting.
+// Wait is a reason why the mover can't take a step or reach a goal yet.
 type Wait struct {
-	// Instance is empty when the obstacle concerns no single instance.
+	// Instance is empty when the wait concerns no single instance.
 	Instance model.InstanceID
 	// Unconfirmed lists the entry processes that have not confirmed the release.
 	Unconfirmed []model.Process
-	Since       clock.Millis
-	Reason      string
+	// Since is the time at which the instance was released; 0 for other waits.
+	Since  clock.Millis
+	Reason string
 }
 
 // Enrol returns the steps that add announced instances to the fleet. Their
@@ -94,8 +95,8 @@
 	return sortAndLimit(steps)
 }
 
-// StepFromPlan converts a step of a maintenance plan into a step of the replicated
-// log. ok is false for plan steps that don't change the instance there.
+// StepFromPlan converts a step of a maintenance plan into a step of the
+// replicated log. ok is false for plan steps that don't change the instance there.
 func StepFromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
 	next := i
 	next.Reason = s.Reason
--- a/core/coord/mover/surgeplanner.go
+++ b/core/coord/mover/surgeplanner.go
@@ -27,8 +27,8 @@
 	chooser S
 	weights plan.Weights
 	// Enabled is false when surges are handled by queueing alone.
-	Enabled   bool
-	processes map[model.Process]demandReport
+	Enabled       bool
+	demandReports map[model.Process]demandReport
 	// highSince and lowSince hold the pools with high and with low demand, with
 	// the time since when.
 	highSince map[model.Pool]clock.Millis
@@ -48,7 +48,7 @@
 
 // Reset empties the planner for a new term.
 func (s *SurgePlanner[S]) Reset() {
-	s.processes = map[model.Process]demandReport{}
+	s.demandReports = map[model.Process]demandReport{}
 	s.highSince = map[model.Pool]clock.Millis{}
 	s.lowSince = map[model.Pool]clock.Millis{}
 	s.extras = nil
@@ -57,16 +57,16 @@
 
 // RecordDemand records the demand that an entry process reported at now.
 func (s *SurgePlanner[S]) RecordDemand(p model.Process, pools []model.PoolDemand, now clock.Millis) {
-	previous, known := s.processes[p]
+	previous, known := s.demandReports[p]
 	interval := now - previous.receivedAt
 	if !known || interval <= 0 {
 		interval = surgeInterval
 	}
-	s.processes[p] = demandReport{pools: pools, receivedAt: now, interval: interval}
+	s.demandReports[p] = demandReport{pools: pools, receivedAt: now, interval: interval}
 }
 
-// Extras returns the instances that pools get beyond their promised number for
-// the time being, and whether they changed since the last call.
+// Extras returns the instances that pools get temporarily beyond their promised
+// number, and whether they changed since the last call.
 func (s *SurgePlanner[S]) Extras(t model.Table, now clock.Millis) (extras []plan.Extra, changed bool) {
 	if !s.Enabled || now-s.decidedAt < surgeInterval {
 		return s.extras, false
@@ -109,9 +109,9 @@
 func (s *SurgePlanner[S]) demands(now clock.Millis) []plan.Demand {
 	sums := map[model.Pool]*plan.Demand{}
 	var order []model.Pool
-	for name, r := range s.processes {
+	for name, r := range s.demandReports {
 		if now-r.receivedAt > SilentAfter {
-			delete(s.processes, name)
+			delete(s.demandReports, name)
 			continue
 		}
 		for _, d := range r.pools {
@@ -144,12 +144,12 @@
 	}
 	for _, h := range holdings {
 		d := byPool[h.Pool]
-		busy := 0.0
+		neededSlots := 0.0
 		if d != nil {
-			busy = d.NeededSlots
+			neededSlots = d.NeededSlots
 		}
-		trackSince(s.highSince, h.Pool, busy > float64(h.Instances*h.SlotsPerInstance), now)
-		trackSince(s.lowSince, h.Pool, busy < float64(h.Promised*h.SlotsPerInstance*s.weights.LowPercent)/100, now)
+		trackSince(s.highSince, h.Pool, neededSlots > float64(h.Instances*h.SlotsPerInstance), now)
+		trackSince(s.lowSince, h.Pool, neededSlots < float64(h.Promised*h.SlotsPerInstance*s.weights.LowPercent)/100, now)
 		if d != nil {
 			d.HighSince, d.LowSince = s.highSince[h.Pool], s.lowSince[h.Pool]
 			d.QueueLimit = float64(h.Instances * h.SlotsPerInstance)
@@ -172,7 +172,7 @@
 // instances contracts promise it.
 func holdingsOf(t model.Table) []plan.Holding {
 	byPool := map[model.Pool]*plan.Holding{}
-	of := func(p model.Pool) *plan.Holding {
+	holdingOf := func(p model.Pool) *plan.Holding {
 		h := byPool[p]
 		if h == nil {
 			h = &plan.Holding{Pool: p, SlotsPerInstance: 1}
@@ -182,12 +182,12 @@
 	}
 	for _, c := range t.Contracts {
 		for _, p := range c.Pools {
-			h := of(p.Pool)
+			h := holdingOf(p.Pool)
 			h.Promised += p.Instances
 			h.Spare = c.SparePool
 		}
 		if c.SparePool != "" {
-			of(c.SparePool).Promised += c.Spare
+			holdingOf(c.SparePool).Promised += c.Spare
 		}
 	}
 	for _, i := range t.Instances {
@@ -198,7 +198,7 @@
 		if i.LostSince != 0 || i.Phase == model.PhaseRetired || i.Phase == model.PhaseMaintenance {
 			continue
 		}
-		h := of(p)
+		h := holdingOf(p)
 		h.Instances++
 		h.SlotsPerInstance = max(h.SlotsPerInstance, i.Slots)
 	}
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -17,8 +17,8 @@
 	stopPolicy J
 	settings   maint.Settings
 	planner    *maint.Planner[P, J]
-	// declaredVersions holds the version of each declaration, by its name, that
-	// the planner has.
+	// declaredVersions holds, by name of the declaration, the version that was
+	// last passed to the planner.
 	declaredVersions map[string]model.Version
 }
 
