--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -51,10 +51,10 @@
 	d.withLoans(func(clock.Millis) { d.loans.HandleReturnResult(m, ok) })
 }
 
-// HandleRecallAck records that the process from holds no loans of an earlier run of
-// this process.
-func (d *Dispatcher[P, Q, L]) HandleRecallAck(from model.Process) {
-	d.withLoans(func(clock.Millis) { d.loans.HandleRecallAck(from) })
+// HandleRecallAck records that the borrower holds no loans of an earlier run of this
+// process.
+func (d *Dispatcher[P, Q, L]) HandleRecallAck(borrower model.Process) {
+	d.withLoans(func(clock.Millis) { d.loans.HandleRecallAck(borrower) })
 }
 
 // ReturnAllLoans ends all held loans and returns the messages that return them to
--- a/core/coord/lender/sender.go
+++ b/core/coord/lender/sender.go
@@ -43,9 +43,9 @@
 	HandleResponse(m lend.Message, requestedAt clock.Millis, response lend.LoanResponse, ok bool)
 	// HandleReturnResult records whether the return of loans in m was received.
 	HandleReturnResult(m lend.Message, ok bool)
-	// HandleRecallAck records that the process from holds no loans of this process's
+	// HandleRecallAck records that the borrower holds no loans of this process's
 	// earlier runs.
-	HandleRecallAck(from model.Process)
+	HandleRecallAck(borrower model.Process)
 	// ReturnAllLoans ends all held loans and returns the messages that return them
 	// to their lenders.
 	ReturnAllLoans() []lend.Message
--- a/core/coord/roster/forwarder.go
+++ b/core/coord/roster/forwarder.go
@@ -24,19 +24,20 @@
 
 // Sender sends announcements to one neighbour.
 type Sender interface {
-	// Announce sends the announcements all to the entry process m.
-	Announce(ctx context.Context, m model.Member, all []model.Announcement) error
+	// Announce sends the announcements to the neighbour m.
+	Announce(ctx context.Context, m model.Member, announcements []model.Announcement) error
 }
 
 // Forwarder forwards announcements to the neighbours of an entry process.
 type Forwarder[S Sender] struct {
-	sender S
-	clock  clock.Clock
-	peers  []peer
-	done   chan struct{}
+	sender     S
+	clock      clock.Clock
+	neighbours []neighbour
+	done       chan struct{}
 }
 
-type peer struct {
+// neighbour is an entry process with the ring of the announcements to it.
+type neighbour struct {
 	member model.Member
 	in     *ring.Ring[model.Announcement]
 }
@@ -45,7 +46,7 @@
 func New[S Sender](s S, neighbours []model.Member, c clock.Clock) *Forwarder[S] {
 	f := &Forwarder[S]{sender: s, clock: c, done: make(chan struct{})}
 	for _, m := range neighbours {
-		f.peers = append(f.peers, peer{member: m, in: ring.New[model.Announcement](ringSize)})
+		f.neighbours = append(f.neighbours, neighbour{member: m, in: ring.New[model.Announcement](ringSize)})
 	}
 	return f
 }
@@ -54,8 +55,8 @@
 // itself to all neighbours. It doesn't block; when the ring of a neighbour is
 // full, the announcement to that neighbour is dropped and counted.
 func (f *Forwarder[S]) Forward(a model.Announcement) {
-	for _, p := range f.peers {
-		p.in.TryPut(a)
+	for _, nb := range f.neighbours {
+		nb.in.TryPut(a)
 	}
 }
 
@@ -63,8 +64,8 @@
 // was full.
 func (f *Forwarder[S]) Refused() int64 {
 	var n int64
-	for _, p := range f.peers {
-		n += p.in.Refused()
+	for _, nb := range f.neighbours {
+		n += nb.in.Refused()
 	}
 	return n
 }
@@ -72,11 +73,11 @@
 // Run forwards announcements until Stop.
 func (f *Forwarder[S]) Run() error {
 	var wg sync.WaitGroup
-	for _, p := range f.peers {
+	for _, nb := range f.neighbours {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			f.runPeer(p)
+			f.runNeighbour(nb)
 		}()
 	}
 	wg.Wait()
@@ -87,11 +88,11 @@
 // Stop ends Run.
 func (f *Forwarder[S]) Stop() { close(f.done) }
 
-func (f *Forwarder[S]) runPeer(p peer) {
+func (f *Forwarder[S]) runNeighbour(nb neighbour) {
 	for {
 		select {
-		case a := <-p.in.C():
-			f.send(p, a)
+		case a := <-nb.in.C():
+			f.send(nb, a)
 		case <-f.done:
 			return
 		}
@@ -100,13 +101,13 @@
 
 // send waits for more announcements, collects them into one batch and sends it. A
 // later announcement of an instance replaces an earlier one.
-func (f *Forwarder[S]) send(p peer, first model.Announcement) {
+func (f *Forwarder[S]) send(nb neighbour, first model.Announcement) {
 	select {
 	case <-f.clock.After(batchWait):
 	case <-f.done:
 		return
 	}
-	received := p.in.Drain([]model.Announcement{first}, maxBatch)
+	received := nb.in.Drain([]model.Announcement{first}, maxBatch)
 	indexes := make(map[model.InstanceID]int, len(received))
 	batch := received[:0]
 	for _, a := range received {
@@ -119,5 +120,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout.Duration())
 	defer cancel()
-	_ = f.sender.Announce(ctx, p.member, batch)
+	_ = f.sender.Announce(ctx, nb.member, batch)
 }
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -139,7 +139,8 @@
 	return r
 }
 
-// testTimeout is the timeout of one call, and of ask; far above what an answer takes.
+// testTimeout limits one call, and all repetitions of a call by ask. It is far
+// above the time that an answer takes.
 const testTimeout = 10 * time.Second
 
 // ask repeats a call until its answer has the wanted kind, because the state is
