Reword the maintenance planner

Receivers and type parameters were letters of older names (b, d, j, J, w); they follow the types now. width is maxConcurrent, maintainedBy is touchedBy, as it holds stuck instances too, and inOtherDomain is disruptedInOtherDomain. Periodic maintenance is no longer called a goal. TestPeriodicGoal and BenchmarkJudge are TestPeriodicMaintenance and BenchmarkStopPolicy.

--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -157,23 +157,23 @@
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
 }
 
-// BenchmarkJudge reports for each stop policy how many of 50 instances a wave
+// BenchmarkStopPolicy reports for each stop policy how many of 50 instances a wave
 // touches before it stops, if touched instances fail an eighth of their requests,
 // and how many of 20 waves with healthy instances are stopped wrongly.
-func BenchmarkJudge(b *testing.B) {
+func BenchmarkStopPolicy(b *testing.B) {
 	benchStopPolicy(b, "never", NeverStop{})
 	benchStopPolicy(b, "ratio", RatioTest{Factor: 3, MinFailures: 8})
 	benchStopPolicy(b, "score", ZTest{Z: 4, MinFailures: 3})
 }
 
-func benchStopPolicy[J StopPolicy](b *testing.B, name string, j J) {
+func benchStopPolicy[S StopPolicy](b *testing.B, name string, policy S) {
 	b.Run(name, func(b *testing.B) {
 		var touched, wrong float64
 		for b.Loop() {
 			touched, wrong = 0, 0
 			for seed := range uint64(20) {
-				touched += 50 - float64(runWave(j, seed, true).unfinished(model.Maintenance{DeclaredAt: clock.Day}))
-				if runWave(j, seed, false).stopped {
+				touched += 50 - float64(runWave(policy, seed, true).unfinished(model.Maintenance{DeclaredAt: clock.Day}))
+				if runWave(policy, seed, false).stopped {
 					wrong++
 				}
 			}
@@ -186,10 +186,10 @@
 // runWave runs a wave for four hours. The request counts of a returned instance
 // start at 0 and grow by 8 a minute, of which one in 400 fails, as on its peers. If
 // bad is set, one in eight fails in addition.
-func runWave[J StopPolicy](j J, seed uint64, bad bool) *fakeFleet {
+func runWave[S StopPolicy](policy S, seed uint64, bad bool) *fakeFleet {
 	w := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	w.declare(8 * clock.Hour)
-	planner := NewPlanner(FullSpeedPacer{}, j, settingsWithoutPeriod())
+	planner := NewPlanner(FullSpeedPacer{}, policy, settingsWithoutPeriod())
 	planner.Load(w.input())
 	for w.now < clock.Day+4*clock.Hour {
 		for _, id := range sortedKeys(w.instances) {
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -8,7 +8,7 @@
 )
 
 // uncount removes the item from all counts and marks it for the next pass.
-func (pl *Planner[P, J]) uncount(it *item) {
+func (pl *Planner[P, S]) uncount(it *item) {
 	pl.changed[it.inst.ID] = true
 	if !it.counted {
 		return
@@ -28,7 +28,7 @@
 		it.wave.inProgress--
 		pl.markWaitingForCanary(it.wave)
 	}
-	for _, w := range it.maintainedBy {
+	for _, w := range it.touchedBy {
 		w.touched.add(it.tally, -1)
 	}
 	for _, w := range it.peerIn {
@@ -40,13 +40,13 @@
 	if q := pl.dueByPool[it.inst.Pool]; q != nil {
 		q.remove(it)
 	}
-	it.wave, it.pendingIn, it.maintainedBy = nil, it.pendingIn[:0], it.maintainedBy[:0]
+	it.wave, it.pendingIn, it.touchedBy = nil, it.pendingIn[:0], it.touchedBy[:0]
 	it.peerIn, it.observedIn = it.peerIn[:0], it.observedIn[:0]
 }
 
 // count adds the item to all counts, evaluated at now, and sets a timer for the
 // next time at which its counts change without an input.
-func (pl *Planner[P, J]) count(it *item, now clock.Millis) {
+func (pl *Planner[P, S]) count(it *item, now clock.Millis) {
 	if it.counted || it.inst.Phase == model.PhaseRetired {
 		return
 	}
@@ -72,7 +72,7 @@
 
 // countUnavailable counts the instance as unavailable for the customers of its pool
 // if it is out of service.
-func (pl *Planner[P, J]) countUnavailable(it *item) {
+func (pl *Planner[P, S]) countUnavailable(it *item) {
 	lost := it.observation.LostSince > 0
 	it.unavailable = it.inst.Phase != model.PhaseServing || lost
 	if !it.unavailable {
@@ -102,7 +102,7 @@
 // countInWave counts the instance for one wave: as pending if the wave still has to
 // maintain it, as touched or peer, and as observed once the canary time has passed
 // since its maintenance.
-func (pl *Planner[P, J]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
+func (pl *Planner[P, S]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
 	if deadline, ok := w.needs(pl.settings, it.inst, now); ok {
 		it.pendingIn = append(it.pendingIn, w)
 		if len(w.pending) == 0 {
@@ -114,7 +114,7 @@
 		}
 	}
 	if w.maintained(pl.settings, it.inst, now) || (stuck && slices.Contains(it.pendingIn, w)) {
-		it.maintainedBy = append(it.maintainedBy, w)
+		it.touchedBy = append(it.touchedBy, w)
 		w.touched.add(it.tally, 1)
 		w.canaryReturnedAt = it.inst.MaintainedAt
 	} else {
@@ -134,7 +134,7 @@
 // countInProgress counts an instance whose maintenance has started. If no wave
 // needs it any more, because its declaration was cancelled, it gets a
 // placeholder wave that is not registered and therefore starts nothing.
-func (pl *Planner[P, J]) countInProgress(it *item) {
+func (pl *Planner[P, S]) countInProgress(it *item) {
 	if it.wave == nil {
 		it.wave = newWave(model.Maintenance{Name: "cancelled"})
 	}
@@ -145,14 +145,14 @@
 
 // markWaitingForCanary marks all pools of the wave for evaluation if the wave
 // waits for its canary.
-func (pl *Planner[P, J]) markWaitingForCanary(w *wave) {
+func (pl *Planner[P, S]) markWaitingForCanary(w *wave) {
 	if w.observedCount == 0 {
 		pl.markWave(w)
 	}
 }
 
 // markWave marks the pools with pending instances of the wave for evaluation.
-func (pl *Planner[P, J]) markWave(w *wave) {
+func (pl *Planner[P, S]) markWave(w *wave) {
 	for p := range w.byPool {
 		pl.changedPools[p] = true
 	}
@@ -160,7 +160,7 @@
 
 // nextChange returns the earliest time after now at which count would count the
 // item differently without an input; 0 for never.
-func (pl *Planner[P, J]) nextChange(it *item, now clock.Millis) clock.Millis {
+func (pl *Planner[P, S]) nextChange(it *item, now clock.Millis) clock.Millis {
 	next := clock.Millis(0)
 	at := func(t clock.Millis) {
 		if t > now && (next == 0 || t < next) {
@@ -190,7 +190,7 @@
 
 // setItemTimer sets the timer of the item to next, unless it has an earlier one or
 // next is 0.
-func (pl *Planner[P, J]) setItemTimer(it *item, next clock.Millis) {
+func (pl *Planner[P, S]) setItemTimer(it *item, next clock.Millis) {
 	if next == 0 || (it.timerAt != 0 && it.timerAt <= next) {
 		return
 	}
@@ -199,7 +199,7 @@
 }
 
 // dueQueue returns the queue of due instances of the pool, creating it if needed.
-func (pl *Planner[P, J]) dueQueue(p model.Pool) *dueQueue {
+func (pl *Planner[P, S]) dueQueue(p model.Pool) *dueQueue {
 	q := pl.dueByPool[p]
 	if q == nil {
 		q = &dueQueue{}
@@ -210,22 +210,22 @@
 
 // processChanges handles the timers that have expired and counts the changed
 // instances again.
-func (pl *Planner[P, J]) processChanges(now clock.Millis) {
+func (pl *Planner[P, S]) processChanges(now clock.Millis) {
 	for pl.timers.Len() > 0 && pl.timers.Top().at <= now {
-		d := pl.timers.Pop()
+		t := pl.timers.Pop()
 		switch {
-		case d.instance != "":
-			it := pl.items[model.InstanceID(d.instance)]
-			if it != nil && it.timerAt == d.at {
+		case t.instance != "":
+			it := pl.items[model.InstanceID(t.instance)]
+			if it != nil && it.timerAt == t.at {
 				it.timerAt = 0
 				pl.uncount(it)
 			}
-		case d.pool != "":
-			pl.changedPools[model.Pool(d.pool)] = true
-			delete(pl.timerByKey, "pool "+d.pool)
+		case t.pool != "":
+			pl.changedPools[model.Pool(t.pool)] = true
+			delete(pl.timerByKey, "pool "+t.pool)
 		default:
-			pl.wavesToCheck[d.wave] = true
-			delete(pl.timerByKey, "wave "+d.wave)
+			pl.wavesToCheck[t.wave] = true
+			delete(pl.timerByKey, "wave "+t.wave)
 		}
 	}
 	if pl.settings.FullScan {
@@ -238,7 +238,7 @@
 }
 
 // markAll marks every instance, pool and wave for evaluation in this pass.
-func (pl *Planner[P, J]) markAll() {
+func (pl *Planner[P, S]) markAll() {
 	for _, it := range pl.items {
 		pl.uncount(it)
 	}
@@ -250,10 +250,10 @@
 
 // setTimer schedules the evaluation of a pool or a wave; key is "pool " or
 // "wave " followed by the name.
-func (pl *Planner[P, J]) setTimer(key string, d timer) {
-	if earliest, ok := pl.timerByKey[key]; ok && earliest <= d.at {
+func (pl *Planner[P, S]) setTimer(key string, t timer) {
+	if earliest, ok := pl.timerByKey[key]; ok && earliest <= t.at {
 		return
 	}
-	pl.timerByKey[key] = d.at
-	pl.timers.Push(d)
+	pl.timerByKey[key] = t.at
+	pl.timers.Push(t)
 }
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -84,10 +84,10 @@
 }
 
 func (cs *customerState) remove(id model.InstanceID) {
-	if o, ok := cs.unavailable[id]; ok {
+	if u, ok := cs.unavailable[id]; ok {
 		cs.usedAt = -1
 		delete(cs.unavailable, id)
-		cs.adjust(o.domain, o.cause, -1)
+		cs.adjust(u.domain, u.cause, -1)
 	}
 }
 
@@ -103,17 +103,17 @@
 	}
 }
 
-// inOtherDomain reports whether an instance outside the given domain is in
-// maintenance or lost.
-func (cs *customerState) inOtherDomain(domain string) bool {
+// disruptedInOtherDomain reports whether an instance outside the given domain is
+// in maintenance or lost.
+func (cs *customerState) disruptedInOtherDomain(domain string) bool {
 	return len(cs.domainCounts) > 1 || (len(cs.domainCounts) == 1 && cs.domainCounts[domain] == 0)
 }
 
 // lostInOtherDomain reports whether an instance outside the given domain is
-// lost. Unlike inOtherDomain, it ignores planned maintenance.
+// lost. Unlike disruptedInOtherDomain, it ignores planned maintenance.
 func (cs *customerState) lostInOtherDomain(domain string) bool {
-	for _, o := range cs.unavailable {
-		if o.cause == causeLoss && o.domain != domain {
+	for _, u := range cs.unavailable {
+		if u.cause == causeLoss && u.domain != domain {
 			return true
 		}
 	}
@@ -135,9 +135,9 @@
 				cs.usedMillis += max(0, o.To-max(o.From, start))
 			}
 		}
-		for _, o := range cs.unavailable {
-			past := now - max(o.from, start)
-			if o.cause == causeLoss {
+		for _, u := range cs.unavailable {
+			past := now - max(u.from, start)
+			if u.cause == causeLoss {
 				cs.usedMillis += past + duration
 				continue
 			}
--- a/core/state/maint/deadline_check.go
+++ b/core/state/maint/deadline_check.go
@@ -10,7 +10,7 @@
 
 // checkDeadlines checks the deadlines of the waves marked for a check and adds
 // to the plan every deadline that cannot be met.
-func (pl *Planner[P, J]) checkDeadlines(now clock.Millis, plan *Plan) {
+func (pl *Planner[P, S]) checkDeadlines(now clock.Millis, plan *Plan) {
 	for _, name := range pl.waveNames {
 		w := pl.waves[name]
 		if pl.wavesToCheck[name] {
@@ -36,7 +36,7 @@
 // the time of the next check. Checks are frequent enough to notice a change, and
 // one always takes place at the last time at which maintenance can start and
 // still meet the deadline.
-func (pl *Planner[P, J]) checkWave(w *wave, now clock.Millis) clock.Millis {
+func (pl *Planner[P, S]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
 		return 0
@@ -81,34 +81,34 @@
 
 // backlogOf returns the backlog of a customer in the wave. total is the number
 // of its pending instances, including those in progress.
-func (pl *Planner[P, J]) backlogOf(w *wave, cs *customerState, now clock.Millis) (o backlog, total int) {
-	o.waiting = map[string]int{}
-	own := map[model.Pool]bool{}
+func (pl *Planner[P, S]) backlogOf(w *wave, cs *customerState, now clock.Millis) (b backlog, total int) {
+	b.waiting = map[string]int{}
+	ownPools := map[model.Pool]bool{}
 	for _, p := range cs.pools {
-		own[p] = true
+		ownPools[p] = true
 		total += w.byPool[p]
 	}
 	// Under DomainInstance each instance is its own domain. These are counted
 	// as one domain, and estimate lets only one of them start at a time.
-	name := func(i model.Instance) string {
+	domain := func(i model.Instance) string {
 		if cs.contract.Covers == model.DomainInstance {
 			return ""
 		}
 		return cs.domainOf(i)
 	}
-	for c, n := range w.pending {
-		if own[c.pool] {
-			o.waiting[name(model.Instance{Zone: c.zone, Rack: c.rack})] += n
+	for g, n := range w.pending {
+		if ownPools[g.pool] {
+			b.waiting[domain(model.Instance{Zone: g.zone, Rack: g.rack})] += n
 		}
 	}
 	for _, id := range sortedKeys(pl.inProgress) {
 		it := pl.inProgress[id]
-		if !own[it.inst.Pool] {
+		if !ownPools[it.inst.Pool] {
 			continue
 		}
-		o.busyDomain = name(it.inst)
+		b.busyDomain = domain(it.inst)
 		if slices.Contains(it.pendingIn, w) {
-			o.waiting[o.busyDomain]--
+			b.waiting[b.busyDomain]--
 		}
 		end := cs.unavailable[id].from + pl.settings.MaintenanceMillis
 		if end < now {
@@ -116,18 +116,18 @@
 			// takes as long as a new one.
 			end = now + pl.settings.MaintenanceMillis
 		}
-		o.expectedEnds = append(o.expectedEnds, end)
+		b.expectedEnds = append(b.expectedEnds, end)
 	}
-	return o, total
+	return b, total
 }
 
-func (pl *Planner[P, J]) checkCustomer(w *wave, cs *customerState, now clock.Millis) {
-	o, total := pl.backlogOf(w, cs, now)
+func (pl *Planner[P, S]) checkCustomer(w *wave, cs *customerState, now clock.Millis) {
+	b, total := pl.backlogOf(w, cs, now)
 	if total == 0 {
 		return
 	}
 	late := UnmetDeadline{Wave: w.decl.Name, Customer: cs.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
-	late.Estimate, late.Reason = pl.estimate(w, cs, o, now)
+	late.Estimate, late.Reason = pl.estimate(w, cs, b, now)
 	if late.Estimate == 0 || late.Estimate > w.decl.Deadline {
 		w.unmet = append(w.unmet, late)
 	}
@@ -137,31 +137,31 @@
 // domain after the other, and the limit that determines it; 0 for never. It
 // assumes that each maintenance takes MaintenanceMillis, the longest allowed
 // time, so the estimate does not move back while maintenance goes as planned.
-func (pl *Planner[P, J]) estimate(w *wave, cs *customerState, o backlog, now clock.Millis) (clock.Millis, string) {
+func (pl *Planner[P, S]) estimate(w *wave, cs *customerState, b backlog, now clock.Millis) (clock.Millis, string) {
 	remaining := 0
-	for _, n := range o.waiting {
+	for _, n := range b.waiting {
 		remaining += n
 	}
 	if remaining == 0 {
-		return slices.Max(append(o.expectedEnds, now)), "in maintenance and not back in time"
+		return slices.Max(append(b.expectedEnds, now)), "in maintenance and not back in time"
 	}
 	lost := cs.byCause[causeLoss]
-	width := cs.contract.MaxUnavailable - lost
+	maxConcurrent := cs.contract.MaxUnavailable - lost
 	if cs.contract.Covers == model.DomainInstance {
-		width = min(width, 1)
+		maxConcurrent = min(maxConcurrent, 1)
 	}
-	if width <= 0 {
+	if maxConcurrent <= 0 {
 		return 0, fmt.Sprintf("max-unavailable %d with %d unplanned losses", cs.contract.MaxUnavailable, lost)
 	}
-	end := pl.finishBusy(o, pl.canaryDone(w, o, now), width)
+	end := pl.finishBusy(b, pl.canaryDone(w, b, now), maxConcurrent)
 	rounds := 0
-	for name, n := range o.waiting {
-		if len(o.expectedEnds) == 0 || name != o.busyDomain {
-			rounds += (n + width - 1) / width
+	for domain, n := range b.waiting {
+		if len(b.expectedEnds) == 0 || domain != b.busyDomain {
+			rounds += (n + maxConcurrent - 1) / maxConcurrent
 		}
 	}
 	end += clock.Millis(rounds) * pl.settings.MaintenanceMillis
-	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", remaining, width, cs.contract.Covers)
+	reason := fmt.Sprintf("%d instances with at most %d at once in one %s", remaining, maxConcurrent, cs.contract.Covers)
 	if cs.contract.WindowMillis == 0 {
 		return end, reason
 	}
@@ -180,12 +180,12 @@
 
 // canaryDone returns the time from which instances other than the canary may
 // start.
-func (pl *Planner[P, J]) canaryDone(w *wave, o backlog, now clock.Millis) clock.Millis {
+func (pl *Planner[P, S]) canaryDone(w *wave, b backlog, now clock.Millis) clock.Millis {
 	switch {
 	case w.observedCount > 0:
 		return now
 	case w.inProgress > 0:
-		return slices.Max(append(o.expectedEnds, now)) + pl.settings.CanaryMillis
+		return slices.Max(append(b.expectedEnds, now)) + pl.settings.CanaryMillis
 	case w.touched.Instances > 0:
 		return max(now, w.canaryReturnedAt+pl.settings.CanaryMillis)
 	default:
@@ -194,19 +194,19 @@
 }
 
 // finishBusy returns the time at which the domain with maintenance in progress
-// is done, with at most width concurrent maintenances. Each one that ends is
-// followed by the next waiting instance of the domain, but not before
+// is done, with at most maxConcurrent concurrent maintenances. Each one that ends
+// is followed by the next waiting instance of the domain, but not before
 // canaryDone.
-func (pl *Planner[P, J]) finishBusy(o backlog, canaryDone clock.Millis, width int) clock.Millis {
-	if len(o.expectedEnds) == 0 {
+func (pl *Planner[P, S]) finishBusy(b backlog, canaryDone clock.Millis, maxConcurrent int) clock.Millis {
+	if len(b.expectedEnds) == 0 {
 		return canaryDone
 	}
-	ends := slices.Clone(o.expectedEnds)
-	for len(ends) < width {
+	ends := slices.Clone(b.expectedEnds)
+	for len(ends) < maxConcurrent {
 		ends = append(ends, canaryDone)
 	}
 	slices.Sort(ends)
-	for range o.waiting[o.busyDomain] {
+	for range b.waiting[b.busyDomain] {
 		ends = append(ends[1:], max(ends[0], canaryDone)+pl.settings.MaintenanceMillis)
 		slices.Sort(ends)
 	}
@@ -215,13 +215,13 @@
 
 // checkPeriod records, by pool, the instances that the periodic wave can no
 // longer maintain in time, and returns the time of the next check.
-func (pl *Planner[P, J]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
+func (pl *Planner[P, S]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	next := now + max(pl.settings.MarginMillis/2, pl.settings.MaintenanceMillis)
 	for _, p := range sortedKeys(pl.dueByPool) {
 		late := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
-		for _, s := range pl.dueByPool[p].racks {
-			for _, it := range s.items {
+		for _, r := range pl.dueByPool[p].racks {
+			for _, it := range r.items {
 				last := it.deadline - pl.settings.MaintenanceMillis
 				switch {
 				case it.wave != w:
--- a/core/state/maint/due_queue.go
+++ b/core/state/maint/due_queue.go
@@ -24,11 +24,11 @@
 // find returns the index of the instance's rack in racks, or the index at which
 // to insert it.
 func (q *dueQueue) find(i model.Instance) (at int, ok bool) {
-	return slices.BinarySearchFunc(q.racks, i, func(s *rackQueue, i model.Instance) int {
-		if c := strings.Compare(string(s.zone), string(i.Zone)); c != 0 {
+	return slices.BinarySearchFunc(q.racks, i, func(r *rackQueue, i model.Instance) int {
+		if c := strings.Compare(string(r.zone), string(i.Zone)); c != 0 {
 			return c
 		}
-		return strings.Compare(string(s.rack), string(i.Rack))
+		return strings.Compare(string(r.rack), string(i.Rack))
 	})
 }
 
@@ -48,9 +48,9 @@
 	if !ok {
 		q.racks = slices.Insert(q.racks, at, &rackQueue{zone: it.inst.Zone, rack: it.inst.Rack})
 	}
-	s := q.racks[at]
-	pos, _ := slices.BinarySearchFunc(s.items, it, byDeadline)
-	s.items = slices.Insert(s.items, pos, it)
+	r := q.racks[at]
+	pos, _ := slices.BinarySearchFunc(r.items, it, byDeadline)
+	r.items = slices.Insert(r.items, pos, it)
 }
 
 func (q *dueQueue) remove(it *item) {
@@ -58,9 +58,9 @@
 	if !ok {
 		return
 	}
-	s := q.racks[at]
-	s.items = slices.DeleteFunc(s.items, func(x *item) bool { return x == it })
-	if len(s.items) == 0 {
+	r := q.racks[at]
+	r.items = slices.DeleteFunc(r.items, func(x *item) bool { return x == it })
+	if len(r.items) == 0 {
 		q.racks = slices.Delete(q.racks, at, at+1)
 	}
 }
@@ -68,9 +68,9 @@
 // first returns the item with the earliest deadline; nil if the queue is empty.
 func (q *dueQueue) first() *item {
 	var best *item
-	for _, s := range q.racks {
-		if best == nil || byDeadline(s.items[0], best) < 0 {
-			best = s.items[0]
+	for _, r := range q.racks {
+		if best == nil || byDeadline(r.items[0], best) < 0 {
+			best = r.items[0]
 		}
 	}
 	return best
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -74,31 +74,31 @@
 }
 
 // sendChanges passes the changes since the last call to the planner.
-func sendChanges[P Pacer, J StopPolicy](w *fakeFleet, b *Planner[P, J]) {
+func sendChanges[P Pacer, S StopPolicy](w *fakeFleet, planner *Planner[P, S]) {
 	for id, i := range w.instances {
 		if k := slices.IndexFunc(w.sent.Instances, func(x model.Instance) bool { return x.ID == id }); k < 0 {
 			w.sent.Instances = append(w.sent.Instances, i)
-			b.SetInstance(i)
+			planner.SetInstance(i)
 		} else if w.sent.Instances[k] != i {
 			w.sent.Instances[k] = i
-			b.SetInstance(i)
+			planner.SetInstance(i)
 		}
 		if w.sent.Observations == nil {
 			w.sent.Observations = map[model.InstanceID]Observation{}
 		}
 		if w.sent.Observations[id] != w.observations[id] {
 			w.sent.Observations[id] = w.observations[id]
-			b.SetObservation(id, w.observations[id])
+			planner.SetObservation(id, w.observations[id])
 		}
 	}
 	for _, o := range w.outages {
 		if !slices.Contains(w.sent.Outages, o) {
 			w.sent.Outages = append(w.sent.Outages, o)
-			b.SetOutage(o)
+			planner.SetOutage(o)
 		}
 	}
 	for c, p := range w.pressure {
-		b.SetPressure(c, p)
+		planner.SetPressure(c, p)
 	}
 }
 
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -55,7 +55,9 @@
 	Verified bool
 	// LostSince is the start of an unplanned loss that has not ended; 0 for none.
 	LostSince clock.Millis
-	// Calls and Failures count the latest requests that the instance ran.
+	// Calls is the number of recent requests that the instance ran, and Failures
+	// the number of those that failed. The counts can fall as old requests are
+	// dropped from them.
 	Calls    int64
 	Failures int64
 }
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -22,17 +22,17 @@
 // nextRelease returns the next instance of the pool that may be released. If
 // there is none, it returns the first limit that blocks one; nil if no instance
 // is due. taken holds the instances already released in this pass.
-func (pl *Planner[P, J]) nextRelease(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
+func (pl *Planner[P, S]) nextRelease(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
 	var firstWait *Wait
 	var blockedWaves []*wave
-	for _, s := range pl.dueByPool[p].racksByDeadline() {
-		if firstWait != nil && pl.inOtherDomain(p, s.items[0].inst) {
+	for _, r := range pl.dueByPool[p].racksByDeadline() {
+		if firstWait != nil && pl.disruptedInOtherDomain(p, r.items[0].inst) {
 			// Every instance of the rack is blocked and the wait to report is
 			// known already. Most racks of a large pool end here.
 			continue
 		}
 	rack:
-		for _, it := range s.items {
+		for _, it := range r.items {
 			if taken[it] || slices.Contains(blockedWaves, it.wave) {
 				continue
 			}
@@ -57,11 +57,11 @@
 	return nil, firstWait
 }
 
-// inOtherDomain reports whether a customer of the pool has instances outside
-// the failure domain of i that are in maintenance or lost.
-func (pl *Planner[P, J]) inOtherDomain(p model.Pool, i model.Instance) bool {
+// disruptedInOtherDomain reports whether a customer of the pool has instances
+// outside the failure domain of i that are in maintenance or lost.
+func (pl *Planner[P, S]) disruptedInOtherDomain(p model.Pool, i model.Instance) bool {
 	for _, c := range pl.customersByPool[p] {
-		if cs := pl.customers[c]; cs.inOtherDomain(cs.domainOf(i)) {
+		if cs := pl.customers[c]; cs.disruptedInOtherDomain(cs.domainOf(i)) {
 			return true
 		}
 	}
@@ -70,7 +70,7 @@
 
 // limitFor returns the first limit that keeps the instance from being released,
 // and its scope; nil if the instance may be released.
-func (pl *Planner[P, J]) limitFor(it *item, now clock.Millis) (*Wait, scope) {
+func (pl *Planner[P, S]) limitFor(it *item, now clock.Millis) (*Wait, scope) {
 	w := it.wave
 	wait := Wait{Pool: it.inst.Pool, Wave: w.decl.Name, Instance: it.inst.ID}
 	switch {
@@ -96,7 +96,7 @@
 
 // overLimit reports whether releasing the item would exceed a limit of the
 // customer. If so, it fills in the wait and returns the scope of the limit.
-func (pl *Planner[P, J]) overLimit(it *item, cs *customerState, now clock.Millis, wait *Wait) (scope, bool) {
+func (pl *Planner[P, S]) overLimit(it *item, cs *customerState, now clock.Millis, wait *Wait) (scope, bool) {
 	c := cs.contract
 	if cs.total+1 > c.MaxUnavailable {
 		wait.Limit, wait.Current, wait.Max = LimitMaxUnavailable, int64(cs.total), int64(c.MaxUnavailable)
@@ -115,14 +115,14 @@
 			return scopePool, true
 		}
 	}
-	if cs.inOtherDomain(cs.domainOf(it.inst)) {
+	if cs.disruptedInOtherDomain(cs.domainOf(it.inst)) {
 		wait.Limit, wait.Current, wait.Max = LimitDomain, int64(len(cs.domainCounts)), 1
 		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back", c.Covers)
 		return scopeRack, true
 	}
-	width := pl.pacer.MaxConcurrent(PacerInput{PressurePermille: cs.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: pl.neededForDeadline(it, cs, now)})
-	if cs.byCause[causeMaintenance] >= width {
-		wait.Limit, wait.Current, wait.Max = LimitPressure, int64(cs.byCause[causeMaintenance]), int64(width)
+	maxConcurrent := pl.pacer.MaxConcurrent(PacerInput{PressurePermille: cs.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: pl.neededForDeadline(it, cs, now)})
+	if cs.byCause[causeMaintenance] >= maxConcurrent {
+		wait.Limit, wait.Current, wait.Max = LimitPressure, int64(cs.byCause[causeMaintenance]), int64(maxConcurrent)
 		wait.Until = now + pl.settings.PressureRetryMillis
 		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", cs.pressure)
 		return scopeItem, true
@@ -132,7 +132,7 @@
 
 // neededForDeadline returns the number of concurrent maintenances that just
 // meets the item's deadline.
-func (pl *Planner[P, J]) neededForDeadline(it *item, cs *customerState, now clock.Millis) int {
+func (pl *Planner[P, S]) neededForDeadline(it *item, cs *customerState, now clock.Millis) int {
 	left := it.deadline - now
 	if left <= 0 {
 		return cs.contract.MaxUnavailable
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -25,14 +25,14 @@
 // runFleet plans and carries out maintenance every minute until the given time, and
 // calls each after every minute. Every seven minutes it checks that a planner newly
 // loaded with the whole state makes the same decisions.
-func runFleet[P Pacer, J StopPolicy](t rapid.TB, w *fakeFleet, p P, j J, set Settings, until clock.Millis, each func()) {
-	b := NewPlanner(p, j, set)
-	b.Load(Input{Contracts: w.contracts, Declarations: w.decls})
+func runFleet[P Pacer, S StopPolicy](t rapid.TB, w *fakeFleet, p P, policy S, set Settings, until clock.Millis, each func()) {
+	planner := NewPlanner(p, policy, set)
+	planner.Load(Input{Contracts: w.contracts, Declarations: w.decls})
 	for w.now < until {
-		sendChanges(w, b)
-		plan := b.Pass(w.now)
+		sendChanges(w, planner)
+		plan := planner.Pass(w.now)
 		if w.now%(7*clock.Minute) == 0 {
-			fresh := PlanOnce(p, j, set, w.input(), w.now)
+			fresh := PlanOnce(p, policy, set, w.input(), w.now)
 			assert.DeepEqual(t, fresh.Steps, plan.Steps)
 			assert.DeepEqual(t, fresh.Stops, plan.Stops)
 		}
@@ -189,10 +189,10 @@
 	assert.Equal(t, plan.Waits[0].Limit, LimitMaxUnavailable, "the move counts as unavailable")
 }
 
-// TestPeriodicGoal guards against an instance that is not maintained within its
-// period although the limits allow it. The first periods must all end within the
-// first five days.
-func TestPeriodicGoal(t *testing.T) {
+// TestPeriodicMaintenance guards against an instance that is not maintained within
+// its period although the limits allow it. The first periods must all end within
+// the first five days.
+func TestPeriodicMaintenance(t *testing.T) {
 	w := newFakeFleet(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
 	set.PeriodMillis, set.MarginMillis, set.PeriodicStart = 4*clock.Day, clock.Day, w.now
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -23,7 +23,7 @@
 type FullSpeedPacer struct{}
 
 // MaxConcurrent returns the limit of the contract.
-func (FullSpeedPacer) MaxConcurrent(f PacerInput) int { return f.MaxUnavailable }
+func (FullSpeedPacer) MaxConcurrent(in PacerInput) int { return in.MaxUnavailable }
 
 // ProportionalPacer slows down in proportion to the pressure and stops at
 // HaltPermille.
@@ -35,11 +35,11 @@
 
 // MaxConcurrent returns at least 1 below HaltPermille, so that a wave continues
 // under light pressure.
-func (p ProportionalPacer) MaxConcurrent(f PacerInput) int {
-	if f.PressurePermille >= p.HaltPermille {
+func (p ProportionalPacer) MaxConcurrent(in PacerInput) int {
+	if in.PressurePermille >= p.HaltPermille {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(1, f.MaxUnavailable*(p.HaltPermille-f.PressurePermille)/p.HaltPermille))
+	return min(in.MaxUnavailable, max(1, in.MaxUnavailable*(p.HaltPermille-in.PressurePermille)/p.HaltPermille))
 }
 
 // DeadlinePacer slows down like ProportionalPacer, but below HaltPermille it
@@ -54,9 +54,9 @@
 
 // MaxConcurrent returns the larger of the proportional limit and the number that
 // the deadline needs, within the limit of the contract.
-func (p DeadlinePacer) MaxConcurrent(f PacerInput) int {
-	if f.PressurePermille >= p.HaltPermille {
+func (p DeadlinePacer) MaxConcurrent(in PacerInput) int {
+	if in.PressurePermille >= p.HaltPermille {
 		return 0
 	}
-	return min(f.MaxUnavailable, max(f.NeededForDeadline, ProportionalPacer{HaltPermille: p.SlowPermille}.MaxConcurrent(f)))
+	return min(in.MaxUnavailable, max(in.NeededForDeadline, ProportionalPacer{HaltPermille: p.SlowPermille}.MaxConcurrent(in)))
 }
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -11,7 +11,7 @@
 
 // Pass runs one planning pass and returns the next steps. It changes only the
 // index: if a step is not carried out, the next pass returns it again.
-func (pl *Planner[P, J]) Pass(now clock.Millis) Plan {
+func (pl *Planner[P, S]) Pass(now clock.Millis) Plan {
 	var plan Plan
 	pl.prune(now)
 	pl.processChanges(now)
@@ -30,7 +30,7 @@
 
 // evaluateWaves applies the stop policy to each wave and adds the stopped ones to
 // the plan.
-func (pl *Planner[P, J]) evaluateWaves(plan *Plan) {
+func (pl *Planner[P, S]) evaluateWaves(plan *Plan) {
 	for _, name := range pl.waveNames {
 		w := pl.waves[name]
 		reason := ""
@@ -48,7 +48,7 @@
 }
 
 // planInProgress adds the steps of the instances whose maintenance has started.
-func (pl *Planner[P, J]) planInProgress(now clock.Millis, plan *Plan) {
+func (pl *Planner[P, S]) planInProgress(now clock.Millis, plan *Plan) {
 	takenBack := map[model.Customer]int{}
 	for _, id := range sortedKeys(pl.inProgress) {
 		it := pl.inProgress[id]
@@ -77,7 +77,7 @@
 // release is no longer allowed, for example after an unplanned loss, or over to
 // the platform once it is drained. takenBack counts the releases taken back in
 // this pass, by customer. The kind is empty while the instance has to wait.
-func (pl *Planner[P, J]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
+func (pl *Planner[P, S]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
 	reason := pl.takeBackReason(it, now, takenBack)
 	if reason != "" {
 		for _, c := range pl.customersByPool[it.inst.Pool] {
@@ -93,7 +93,7 @@
 
 // takeBackReason returns the reason why a release must be taken back; empty if
 // it may continue.
-func (pl *Planner[P, J]) takeBackReason(it *item, now clock.Millis, takenBack map[model.Customer]int) string {
+func (pl *Planner[P, S]) takeBackReason(it *item, now clock.Millis, takenBack map[model.Customer]int) string {
 	if pl.waves[it.wave.decl.Name] == nil {
 		return "the declaration was cancelled"
 	}
@@ -116,11 +116,11 @@
 	return ""
 }
 
-func (pl *Planner[P, J]) outages(p model.Pool) []Outage { return pl.finishedOutages[p] }
+func (pl *Planner[P, S]) outages(p model.Pool) []Outage { return pl.finishedOutages[p] }
 
 // planReleases adds releases of due instances in the pools that changed. Pools
 // are processed in the order of their earliest deadline.
-func (pl *Planner[P, J]) planReleases(now clock.Millis, plan *Plan) {
+func (pl *Planner[P, S]) planReleases(now clock.Millis, plan *Plan) {
 	pools := sortedKeys(pl.changedPools)
 	clear(pl.changedPools)
 	earliest := map[model.Pool]clock.Millis{}
@@ -161,7 +161,7 @@
 
 // recordWait records why due instances of the pool wait, and sets a timer for the
 // time at which to evaluate the pool again. It does nothing if w is nil.
-func (pl *Planner[P, J]) recordWait(p model.Pool, w *Wait) {
+func (pl *Planner[P, S]) recordWait(p model.Pool, w *Wait) {
 	if w == nil {
 		return
 	}
@@ -173,7 +173,7 @@
 
 // reserve adds n tentative releases of the item, 1 or -1, to the counts of its
 // wave and customers.
-func (pl *Planner[P, J]) reserve(it *item, n int) {
+func (pl *Planner[P, S]) reserve(it *item, n int) {
 	it.wave.tentativeReleases += n
 	for _, c := range pl.customersByPool[it.inst.Pool] {
 		cs := pl.customers[c]
@@ -182,7 +182,7 @@
 	}
 }
 
-func (pl *Planner[P, J]) releaseReason(it *item) string {
+func (pl *Planner[P, S]) releaseReason(it *item) string {
 	w := it.wave
 	if w.observedCount == 0 {
 		return "canary of " + w.decl.Name
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -11,9 +11,9 @@
 
 // Planner indexes the state of a fleet and plans its maintenance. It is not
 // safe for concurrent use: a single goroutine owns it.
-type Planner[P Pacer, J StopPolicy] struct {
+type Planner[P Pacer, S StopPolicy] struct {
 	pacer      P
-	stopPolicy J
+	stopPolicy S
 	settings   Settings
 	items      map[model.InstanceID]*item
 	// itemsByPool groups items by the pool of the instance.
@@ -60,22 +60,22 @@
 	// wave is the pending wave with the earliest deadline; nil for none.
 	wave     *wave
 	deadline clock.Millis
-	// pendingIn, maintainedBy, peerIn and observedIn list the waves that count
-	// the instance as pending, touched, peer and observed.
-	pendingIn    []*wave
-	maintainedBy []*wave
-	peerIn       []*wave
-	observedIn   []*wave
-	tally        Tally
+	// pendingIn, touchedBy, peerIn and observedIn list the waves that count the
+	// instance as pending, touched, peer and observed.
+	pendingIn  []*wave
+	touchedBy  []*wave
+	peerIn     []*wave
+	observedIn []*wave
+	tally      Tally
 	// timerAt is the earliest time in timers for this item; 0 for none.
 	timerAt clock.Millis
 }
 
 // NewPlanner returns a planner without instances.
-func NewPlanner[P Pacer, J StopPolicy](pacer P, stopPolicy J, set Settings) *Planner[P, J] {
+func NewPlanner[P Pacer, S StopPolicy](pacer P, stopPolicy S, set Settings) *Planner[P, S] {
 	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
 	set.PressureRetryMillis = max(set.PressureRetryMillis, 1)
-	pl := &Planner[P, J]{
+	pl := &Planner[P, S]{
 		pacer: pacer, stopPolicy: stopPolicy, settings: set,
 		items:           map[model.InstanceID]*item{},
 		itemsByPool:     map[model.Pool]map[model.InstanceID]*item{},
@@ -100,14 +100,14 @@
 
 // PlanOnce loads a new planner with the whole state and returns the plan of its
 // first pass.
-func PlanOnce[P Pacer, J StopPolicy](pacer P, stopPolicy J, set Settings, in Input, now clock.Millis) Plan {
+func PlanOnce[P Pacer, S StopPolicy](pacer P, stopPolicy S, set Settings, in Input, now clock.Millis) Plan {
 	pl := NewPlanner(pacer, stopPolicy, set)
 	pl.Load(in)
 	return pl.Pass(now)
 }
 
 // Load adds a whole state to the planner.
-func (pl *Planner[P, J]) Load(in Input) {
+func (pl *Planner[P, S]) Load(in Input) {
 	for _, c := range in.Contracts {
 		pl.SetContract(c)
 	}
@@ -129,7 +129,7 @@
 }
 
 // SetInstance adds an instance or replaces its state.
-func (pl *Planner[P, J]) SetInstance(i model.Instance) {
+func (pl *Planner[P, S]) SetInstance(i model.Instance) {
 	it := pl.ensureItem(i.ID)
 	pl.uncount(it)
 	delete(pl.itemsByPool[it.inst.Pool], i.ID)
@@ -141,30 +141,30 @@
 }
 
 // SetObservation replaces the observation of an instance.
-func (pl *Planner[P, J]) SetObservation(id model.InstanceID, s Observation) {
+func (pl *Planner[P, S]) SetObservation(id model.InstanceID, obs Observation) {
 	it := pl.ensureItem(id)
-	calls, failures := s.Calls-it.observation.Calls, s.Failures-it.observation.Failures
+	calls, failures := obs.Calls-it.observation.Calls, obs.Failures-it.observation.Failures
 	same := it.observation
-	same.Calls, same.Failures = s.Calls, s.Failures
-	if !it.counted || same != s {
+	same.Calls, same.Failures = obs.Calls, obs.Failures
+	if !it.counted || same != obs {
 		pl.uncount(it)
-		it.observation = s
+		it.observation = obs
 		return
 	}
 	// Fast path: request counts change most often and affect nothing but the
 	// tallies.
-	it.observation = s
-	d := Tally{Calls: calls, Failures: failures}
-	it.tally.add(d, 1)
-	for _, w := range it.maintainedBy {
-		w.touched.add(d, 1)
+	it.observation = obs
+	added := Tally{Calls: calls, Failures: failures}
+	it.tally.add(added, 1)
+	for _, w := range it.touchedBy {
+		w.touched.add(added, 1)
 	}
 	for _, w := range it.peerIn {
-		w.peers.add(d, 1)
+		w.peers.add(added, 1)
 	}
 }
 
-func (pl *Planner[P, J]) ensureItem(id model.InstanceID) *item {
+func (pl *Planner[P, S]) ensureItem(id model.InstanceID) *item {
 	it := pl.items[id]
 	if it == nil {
 		it = &item{inst: model.Instance{ID: id, Phase: model.PhaseRetired}}
@@ -174,7 +174,7 @@
 }
 
 // SetContract adds the contract of a customer or replaces it.
-func (pl *Planner[P, J]) SetContract(c model.Contract) {
+func (pl *Planner[P, S]) SetContract(c model.Contract) {
 	pressure := 0
 	if old := pl.customers[c.Customer]; old != nil {
 		pressure = old.pressure
@@ -194,7 +194,7 @@
 }
 
 // RemoveContract removes the contract of a customer, if there is one.
-func (pl *Planner[P, J]) RemoveContract(name model.Customer) {
+func (pl *Planner[P, S]) RemoveContract(name model.Customer) {
 	cs := pl.customers[name]
 	if cs == nil {
 		return
@@ -210,14 +210,14 @@
 }
 
 // uncountPool removes the instances of the pool from all counts until the next pass.
-func (pl *Planner[P, J]) uncountPool(p model.Pool) {
+func (pl *Planner[P, S]) uncountPool(p model.Pool) {
 	pl.changedPools[p] = true
 	for _, it := range pl.itemsByPool[p] {
 		pl.uncount(it)
 	}
 }
 
-func (pl *Planner[P, J]) checkAllWaves() {
+func (pl *Planner[P, S]) checkAllWaves() {
 	for _, n := range pl.waveNames {
 		pl.wavesToCheck[n] = true
 	}
@@ -225,7 +225,7 @@
 
 // SetDeclaration adds a maintenance declaration or replaces the one of the same
 // name.
-func (pl *Planner[P, J]) SetDeclaration(m model.Maintenance) {
+func (pl *Planner[P, S]) SetDeclaration(m model.Maintenance) {
 	pl.RemoveDeclaration(m.Name)
 	pl.waves[m.Name] = newWave(m)
 	pl.waveNames = append(pl.waveNames, m.Name)
@@ -237,7 +237,7 @@
 }
 
 // RemoveDeclaration removes a maintenance declaration, if there is one.
-func (pl *Planner[P, J]) RemoveDeclaration(name string) {
+func (pl *Planner[P, S]) RemoveDeclaration(name string) {
 	if pl.waves[name] == nil {
 		return
 	}
@@ -251,7 +251,7 @@
 
 // SetOutage adds an outage. An outage with an end replaces the open outage of
 // the instance with the same start.
-func (pl *Planner[P, J]) SetOutage(o Outage) {
+func (pl *Planner[P, S]) SetOutage(o Outage) {
 	if it := pl.items[o.Instance]; it != nil {
 		pl.uncount(it)
 	}
@@ -271,7 +271,7 @@
 
 // SetPressure sets the permille of a customer's requests that were refused or
 // late.
-func (pl *Planner[P, J]) SetPressure(c model.Customer, permille int) {
+func (pl *Planner[P, S]) SetPressure(c model.Customer, permille int) {
 	cs := pl.customers[c]
 	if cs == nil || cs.pressure == permille {
 		return
@@ -281,7 +281,7 @@
 }
 
 // markPools marks the pools of the customer for evaluation in the next pass.
-func (pl *Planner[P, J]) markPools(cs *customerState) {
+func (pl *Planner[P, S]) markPools(cs *customerState) {
 	for _, p := range cs.pools {
 		pl.changedPools[p] = true
 	}
@@ -289,7 +289,7 @@
 
 // prune drops the outages that ended before every customer's budget window. It
 // scans all outages, so it runs only once an hour.
-func (pl *Planner[P, J]) prune(now clock.Millis) {
+func (pl *Planner[P, S]) prune(now clock.Millis) {
 	if now < pl.prunedAt+clock.Hour {
 		return
 	}
--- a/core/state/maint/stop_policy.go
+++ b/core/state/maint/stop_policy.go
@@ -47,14 +47,14 @@
 
 // StopReason compares the failure rates of requests first, then those of whole
 // instances.
-func (j RatioTest) StopReason(t, p Tally) string {
+func (r RatioTest) StopReason(touched, peers Tally) string {
 	// One failure is added to the peers, because at the end of a wave few peers
 	// are left and they may have no failure at all.
-	if p.Calls > 0 && t.Failures >= j.MinFailures && failureRate(t.Failures, t.Calls) > j.Factor*failureRate(p.Failures+1, p.Calls) {
-		return comparison("requests", t.Failures, t.Calls, p.Failures, p.Calls)
+	if peers.Calls > 0 && touched.Failures >= r.MinFailures && failureRate(touched.Failures, touched.Calls) > r.Factor*failureRate(peers.Failures+1, peers.Calls) {
+		return comparison("requests", touched.Failures, touched.Calls, peers.Failures, peers.Calls)
 	}
-	if p.Instances > 0 && t.Failed >= 1 && failureRate(t.Failed, t.Instances) > j.Factor*failureRate(p.Failed+1, p.Instances) {
-		return comparison("instances", t.Failed, t.Instances, p.Failed, p.Instances)
+	if peers.Instances > 0 && touched.Failed >= 1 && failureRate(touched.Failed, touched.Instances) > r.Factor*failureRate(peers.Failed+1, peers.Instances) {
+		return comparison("instances", touched.Failed, touched.Instances, peers.Failed, peers.Instances)
 	}
 	return ""
 }
@@ -73,12 +73,12 @@
 // StopReason compares the failure rates of requests first, then those of whole
 // instances. If all peers are healthy, a single failed instance stops the wave
 // only while it has touched few instances.
-func (j ZTest) StopReason(t, p Tally) string {
-	if t.Failures >= j.MinFailures && zScore(t.Failures, t.Calls, p.Failures, p.Calls) > j.Z {
-		return comparison("requests", t.Failures, t.Calls, p.Failures, p.Calls)
+func (z ZTest) StopReason(touched, peers Tally) string {
+	if touched.Failures >= z.MinFailures && zScore(touched.Failures, touched.Calls, peers.Failures, peers.Calls) > z.Z {
+		return comparison("requests", touched.Failures, touched.Calls, peers.Failures, peers.Calls)
 	}
-	if zScore(t.Failed, t.Instances, p.Failed, p.Instances) > j.Z {
-		return comparison("instances", t.Failed, t.Instances, p.Failed, p.Instances)
+	if zScore(touched.Failed, touched.Instances, peers.Failed, peers.Instances) > z.Z {
+		return comparison("instances", touched.Failed, touched.Instances, peers.Failed, peers.Instances)
 	}
 	return ""
 }
--- a/core/state/maint/timer.go
+++ b/core/state/maint/timer.go
@@ -11,10 +11,10 @@
 	wave     string
 }
 
-// Before reports whether d sorts before e: by time, then by name.
-func (d timer) Before(e timer) bool {
-	if d.at != e.at {
-		return d.at < e.at
+// Before reports whether t sorts before u: by time, then by name.
+func (t timer) Before(u timer) bool {
+	if t.at != u.at {
+		return t.at < u.at
 	}
-	return d.instance+d.pool+d.wave < e.instance+e.pool+e.wave
+	return t.instance+t.pool+t.wave < u.instance+u.pool+u.wave
 }
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -11,7 +11,7 @@
 // period.
 const Periodic = "periodic"
 
-// wave is the progress of a maintenance declaration or of the periodic goal.
+// wave is the progress of a maintenance declaration or of periodic maintenance.
 type wave struct {
 	decl model.Maintenance
 	// pending counts the instances still to be maintained, including those in
@@ -55,10 +55,10 @@
 }
 
 func (w *wave) count(i model.Instance, n int) {
-	c := groupOf(i)
-	w.pending[c] += n
-	if w.pending[c] == 0 {
-		delete(w.pending, c)
+	g := groupOf(i)
+	w.pending[g] += n
+	if w.pending[g] == 0 {
+		delete(w.pending, g)
 	}
 	w.byPool[i.Pool] += n
 	if w.byPool[i.Pool] == 0 {
@@ -94,8 +94,8 @@
 	return w.decl.Selector.Matches(i)
 }
 
-// periodEnd returns the time by which the periodic goal requires the next
-// maintenance of the instance. Instances that were not maintained since
+// periodEnd returns the time by which periodic maintenance of the instance is
+// required next. Instances that were not maintained since
 // PeriodicStart are spread evenly by a hash of their ID, so that their first
 // period does not end at the same time.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
