--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -32,27 +32,27 @@
 		for b.Loop() {
 			minutes, outMinutes, excess, violations, missed, takenBack = 0, 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
-				w := newFakeFleet(seed, 50, 3, 5, 5, covers, most)
-				w.peakShift = clock.Millis(seed) * 12 * clock.Minute
-				m := w.declare(8 * clock.Hour)
+				f := newFakeFleet(seed, 50, 3, 5, 5, covers, most)
+				f.peakShift = clock.Millis(seed) * 12 * clock.Minute
+				m := f.declare(8 * clock.Hour)
 				planner := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod())
-				planner.Load(w.input())
-				for w.unfinished(m) > 0 && w.now < m.DeclaredAt+3*clock.Day {
-					sample := w.setPeakPressure()
-					sendChanges(w, planner)
-					for _, s := range planner.Pass(w.now).Steps {
+				planner.Load(f.input())
+				for f.unfinished(m) > 0 && f.now < m.DeclaredAt+3*clock.Day {
+					sample := f.setPeakPressure()
+					sendChanges(f, planner)
+					for _, s := range planner.Pass(f.now).Steps {
 						if s.Kind == StepReturn && !s.Done {
 							takenBack++
 						}
-						w.carryOut(s)
+						f.carryOut(s)
 					}
 					outMinutes += float64(sample.count)
 					excess += float64(sample.excess)
-					w.advance()
+					f.advance()
 				}
-				minutes += float64((w.now - m.DeclaredAt) / clock.Minute)
-				violations += float64(len(w.violations))
-				if w.now > m.Deadline {
+				minutes += float64((f.now - m.DeclaredAt) / clock.Minute)
+				violations += float64(len(f.violations))
+				if f.now > m.Deadline {
 					missed++
 				}
 			}
@@ -76,19 +76,19 @@
 // 20 permille with a complete fleet and 25 permille more for each instance out of
 // service. The planner gets a moving average over about four minutes, because peaks
 // are shorter than a maintenance.
-func (w *fakeFleet) setPeakPressure() peakSample {
+func (f *fakeFleet) setPeakPressure() peakSample {
 	n := 0
-	for id, i := range w.instances {
-		if isOutOfService(i, w.observations[id]) {
+	for id, i := range f.instances {
+		if isOutOfService(i, f.observations[id]) {
 			n++
 		}
 	}
 	p := 0
-	if (w.now+w.peakShift)/clock.Hour%2 == 0 && w.rnd.IntN(2) == 0 {
+	if (f.now+f.peakShift)/clock.Hour%2 == 0 && f.rnd.IntN(2) == 0 {
 		p = 20 + 25*n
 	}
-	for _, c := range w.contracts {
-		w.pressure[c.Customer] = (3*w.pressure[c.Customer] + p) / 4
+	for _, c := range f.contracts {
+		f.pressure[c.Customer] = (3*f.pressure[c.Customer] + p) / 4
 	}
 	return peakSample{count: n, excess: max(0, p-20)}
 }
@@ -103,55 +103,55 @@
 				benchPasses(b, newFakeFleet(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2), scan)
 			})
 			b.Run(fmt.Sprintf("%s-wave/%d", name, size.n), func(b *testing.B) {
-				w := newFakeFleet(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
-				w.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: 100 * clock.Day, Deadline: 110 * clock.Day}}
-				benchPasses(b, w, scan)
+				f := newFakeFleet(1, size.n, size.zones, size.pools, 1, model.DomainZone, 2)
+				f.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: 100 * clock.Day, Deadline: 110 * clock.Day}}
+				benchPasses(b, f, scan)
 			})
 		}
 	}
 }
 
-func benchPasses(b *testing.B, w *fakeFleet, scan bool) {
+func benchPasses(b *testing.B, f *fakeFleet, scan bool) {
 	set := Defaults()
 	set.FullScan = scan
-	w.now = 100 * clock.Day
-	ids := sortedKeys(w.instances)
+	f.now = 100 * clock.Day
+	ids := sortedKeys(f.instances)
 	for k, id := range ids {
-		w.instances[id] = maintainedAt(w.instances[id], w.now-clock.Millis(k)*40*clock.Day/clock.Millis(len(ids)))
+		f.instances[id] = maintainedAt(f.instances[id], f.now-clock.Millis(k)*40*clock.Day/clock.Millis(len(ids)))
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	planner := NewPlanner(FullSpeedPacer{}, ZTest{Z: 4, MinFailures: 3}, set)
-	planner.Load(w.input())
-	planner.Pass(w.now)
+	planner.Load(f.input())
+	planner.Pass(f.now)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	k, down := 0, ids[0]
 	b.ReportAllocs()
 	for b.Loop() {
-		w.now += clock.Second
+		f.now += clock.Second
 		for range 10 {
 			k++
 			id := ids[k*7%len(ids)]
-			s := w.observations[id]
+			s := f.observations[id]
 			s.Calls++
-			w.observations[id] = s
+			f.observations[id] = s
 			planner.SetObservation(id, s)
 		}
 		for _, lost := range []bool{false, true} {
 			if lost {
 				down = ids[k*11%len(ids)]
 			}
-			w.lose(down, lost)
-			planner.SetObservation(down, w.observations[down])
+			f.lose(down, lost)
+			planner.SetObservation(down, f.observations[down])
 		}
-		w.outages = w.outages[:0]
-		for _, s := range planner.Pass(w.now).Steps {
-			w.carryOut(s)
-			planner.SetInstance(w.instances[s.Instance])
-			w.advance()
-			planner.SetObservation(s.Instance, w.observations[s.Instance])
+		f.outages = f.outages[:0]
+		for _, s := range planner.Pass(f.now).Steps {
+			f.carryOut(s)
+			planner.SetInstance(f.instances[s.Instance])
+			f.advance()
+			planner.SetObservation(s.Instance, f.observations[s.Instance])
 		}
 	}
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
@@ -187,33 +187,33 @@
 // start at 0 and grow by 8 a minute, of which one in 400 fails, as on its peers. If
 // bad is set, one in eight fails in addition.
 func runWave[S StopPolicy](policy S, seed uint64, bad bool) *fakeFleet {
-	w := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
-	w.declare(8 * clock.Hour)
+	f := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
+	f.declare(8 * clock.Hour)
 	planner := NewPlanner(FullSpeedPacer{}, policy, settingsWithoutPeriod())
-	planner.Load(w.input())
-	for w.now < clock.Day+4*clock.Hour {
-		for _, id := range sortedKeys(w.instances) {
-			if i := w.instances[id]; i.MaintainedAt > 1 && w.now-i.MaintainedAt < 25*clock.Minute {
-				s := w.observations[id]
-				if w.now-i.MaintainedAt <= clock.Minute {
+	planner.Load(f.input())
+	for f.now < clock.Day+4*clock.Hour {
+		for _, id := range sortedKeys(f.instances) {
+			if i := f.instances[id]; i.MaintainedAt > 1 && f.now-i.MaintainedAt < 25*clock.Minute {
+				s := f.observations[id]
+				if f.now-i.MaintainedAt <= clock.Minute {
 					s.Calls, s.Failures = 0, 0
 				}
 				for range 8 {
 					s.Calls++
-					if w.rnd.IntN(400) == 0 || bad && w.rnd.IntN(8) == 0 {
+					if f.rnd.IntN(400) == 0 || bad && f.rnd.IntN(8) == 0 {
 						s.Failures++
 					}
 				}
-				w.observations[id] = s
+				f.observations[id] = s
 			}
 		}
-		sendChanges(w, planner)
-		plan := planner.Pass(w.now)
-		w.record(plan)
+		sendChanges(f, planner)
+		plan := planner.Pass(f.now)
+		f.record(plan)
 		for _, s := range plan.Steps {
-			w.carryOut(s)
+			f.carryOut(s)
 		}
-		w.advance()
+		f.advance()
 	}
-	return w
+	return f
 }
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -36,7 +36,7 @@
 }
 
 func newFakeFleet(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, most int) *fakeFleet {
-	w := &fakeFleet{
+	f := &fakeFleet{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: clock.Day, instances: map[model.InstanceID]model.Instance{},
 		observations: map[model.InstanceID]Observation{}, nextEvent: map[model.InstanceID]clock.Millis{},
 		pressure: map[model.Customer]int{}, firstUnmet: map[string]clock.Millis{},
@@ -45,26 +45,26 @@
 		zone := k % zones
 		id := model.InstanceID(fmt.Sprintf("i%04d", k))
 		pool := model.Pool(fmt.Sprintf("p%02d", k/zones%pools))
-		w.instances[id] = model.Instance{
+		f.instances[id] = model.Instance{
 			ID: id, Zone: model.Zone(fmt.Sprintf("z%02d", zone)), Pool: pool, Target: pool, Slots: 8,
 			Rack: model.Rack(fmt.Sprintf("z%02d-r%03d", zone, k/zones/4)), MaintainedAt: 1,
 		}
-		w.observations[id] = Observation{Calls: 200, Failures: int64(w.rnd.IntN(2))}
+		f.observations[id] = Observation{Calls: 200, Failures: int64(f.rnd.IntN(2))}
 	}
 	for k := 0; k < pools; k += perContract {
 		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%02d", k)), Covers: covers, MaxUnavailable: most}
 		for p := k; p < min(k+perContract, pools); p++ {
 			c.Pools = append(c.Pools, model.PoolShare{Pool: model.Pool(fmt.Sprintf("p%02d", p)), Instances: max(1, n/pools-1)})
 		}
-		w.contracts = append(w.contracts, c)
+		f.contracts = append(f.contracts, c)
 	}
-	return w
+	return f
 }
 
-func (w *fakeFleet) input() Input {
-	in := Input{Observations: w.observations, Contracts: w.contracts, Declarations: w.decls, Outages: w.outages, Pressure: w.pressure}
-	for _, id := range sortedKeys(w.instances) {
-		in.Instances = append(in.Instances, w.instances[id])
+func (f *fakeFleet) input() Input {
+	in := Input{Observations: f.observations, Contracts: f.contracts, Declarations: f.decls, Outages: f.outages, Pressure: f.pressure}
+	for _, id := range sortedKeys(f.instances) {
+		in.Instances = append(in.Instances, f.instances[id])
 	}
 	return in
 }
@@ -74,57 +74,57 @@
 }
 
 // sendChanges passes the changes since the last call to the planner.
-func sendChanges[P Pacer, S StopPolicy](w *fakeFleet, planner *Planner[P, S]) {
-	for id, i := range w.instances {
-		if k := slices.IndexFunc(w.sent.Instances, func(x model.Instance) bool { return x.ID == id }); k < 0 {
-			w.sent.Instances = append(w.sent.Instances, i)
+func sendChanges[P Pacer, S StopPolicy](f *fakeFleet, planner *Planner[P, S]) {
+	for id, i := range f.instances {
+		if k := slices.IndexFunc(f.sent.Instances, func(x model.Instance) bool { return x.ID == id }); k < 0 {
+			f.sent.Instances = append(f.sent.Instances, i)
 			planner.SetInstance(i)
-		} else if w.sent.Instances[k] != i {
-			w.sent.Instances[k] = i
+		} else if f.sent.Instances[k] != i {
+			f.sent.Instances[k] = i
 			planner.SetInstance(i)
 		}
-		if w.sent.Observations == nil {
-			w.sent.Observations = map[model.InstanceID]Observation{}
+		if f.sent.Observations == nil {
+			f.sent.Observations = map[model.InstanceID]Observation{}
 		}
-		if w.sent.Observations[id] != w.observations[id] {
-			w.sent.Observations[id] = w.observations[id]
-			planner.SetObservation(id, w.observations[id])
+		if f.sent.Observations[id] != f.observations[id] {
+			f.sent.Observations[id] = f.observations[id]
+			planner.SetObservation(id, f.observations[id])
 		}
 	}
-	for _, o := range w.outages {
-		if !slices.Contains(w.sent.Outages, o) {
-			w.sent.Outages = append(w.sent.Outages, o)
+	for _, o := range f.outages {
+		if !slices.Contains(f.sent.Outages, o) {
+			f.sent.Outages = append(f.sent.Outages, o)
 			planner.SetOutage(o)
 		}
 	}
-	for c, p := range w.pressure {
+	for c, p := range f.pressure {
 		planner.SetPressure(c, p)
 	}
 }
 
-func (w *fakeFleet) open(id model.InstanceID) {
-	w.outages = append(w.outages, Outage{Instance: id, Pool: w.instances[id].Pool, From: w.now})
+func (f *fakeFleet) open(id model.InstanceID) {
+	f.outages = append(f.outages, Outage{Instance: id, Pool: f.instances[id].Pool, From: f.now})
 }
 
-func (w *fakeFleet) close(id model.InstanceID) {
-	for k, o := range w.outages {
+func (f *fakeFleet) close(id model.InstanceID) {
+	for k, o := range f.outages {
 		if o.Instance == id && o.To == 0 {
-			w.outages[k].To = w.now
+			f.outages[k].To = f.now
 		}
 	}
 }
 
 // carryOut carries out one step, like the component that executes plans.
-func (w *fakeFleet) carryOut(s Step) {
-	i, seen := w.instances[s.Instance], w.observations[s.Instance]
-	i.PhaseSince = w.now
-	minutes := func(lo, hi int) { w.nextEvent[i.ID] = w.now + clock.Millis(lo+w.rnd.IntN(hi-lo+1))*clock.Minute }
+func (f *fakeFleet) carryOut(s Step) {
+	i, seen := f.instances[s.Instance], f.observations[s.Instance]
+	i.PhaseSince = f.now
+	minutes := func(lo, hi int) { f.nextEvent[i.ID] = f.now + clock.Millis(lo+f.rnd.IntN(hi-lo+1))*clock.Minute }
 	switch s.Kind {
 	case StepRelease:
 		i.Phase, i.Target = model.PhaseReleasing, i.Pool
-		w.open(i.ID)
-		w.instances[i.ID] = i
-		w.checkRelease(i)
+		f.open(i.ID)
+		f.instances[i.ID] = i
+		f.checkRelease(i)
 		minutes(1, 2)
 	case StepHandOver:
 		i.Phase = model.PhaseMaintenance
@@ -134,21 +134,21 @@
 	case StepReturn:
 		i.Phase = model.PhaseServing
 		if s.Done {
-			i.MaintainedAt = w.now
-			if w.failTouched {
+			i.MaintainedAt = f.now
+			if f.failTouched {
 				seen.Failures = seen.Calls / 4
 			}
 		}
 		seen.Drained, seen.Restarted, seen.Verified = false, false, false
-		w.close(i.ID)
+		f.close(i.ID)
 	}
-	w.instances[i.ID], w.observations[i.ID] = i, seen
+	f.instances[i.ID], f.observations[i.ID] = i, seen
 }
 
 // checkRelease records a violation for each customer of i whose max-unavailable or
 // single-domain limit is exceeded after the release of i.
-func (w *fakeFleet) checkRelease(i model.Instance) {
-	for _, c := range w.contracts {
+func (f *fakeFleet) checkRelease(i model.Instance) {
+	for _, c := range f.contracts {
 		own := func(p model.Pool) bool {
 			return p == c.SparePool || slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
 		}
@@ -156,86 +156,86 @@
 			continue
 		}
 		n, domains := 0, map[string]bool{}
-		for id, x := range w.instances {
-			if own(x.Pool) && isOutOfService(x, w.observations[id]) {
+		for id, x := range f.instances {
+			if own(x.Pool) && isOutOfService(x, f.observations[id]) {
 				n++
 				domains[[]string{string(x.ID), string(x.Rack), string(x.Zone)}[c.Covers]] = true
 			}
 		}
 		if n > c.MaxUnavailable {
-			w.addViolation("%s: %d of %d unavailable", c.Customer, n, c.MaxUnavailable)
+			f.addViolation("%s: %d of %d unavailable", c.Customer, n, c.MaxUnavailable)
 		}
 		if len(domains) > 1 {
-			w.addViolation("%s: %d domains at once", c.Customer, len(domains))
+			f.addViolation("%s: %d domains at once", c.Customer, len(domains))
 		}
 	}
 }
 
-func (w *fakeFleet) addViolation(format string, args ...any) {
-	w.violations = append(w.violations, fmt.Sprintf("%d: ", w.now)+fmt.Sprintf(format, args...))
+func (f *fakeFleet) addViolation(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf("%d: ", f.now)+fmt.Sprintf(format, args...))
 }
 
 // checkWindow records a violation for each customer whose window budget is
 // exceeded.
-func (w *fakeFleet) checkWindow() {
-	for _, c := range w.contracts {
+func (f *fakeFleet) checkWindow() {
+	for _, c := range f.contracts {
 		spent := clock.Millis(0)
-		for _, o := range w.outages {
+		for _, o := range f.outages {
 			to := o.To
 			if to == 0 {
-				to = w.now
+				to = f.now
 			}
 			if slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == o.Pool }) {
-				spent += max(0, to-max(o.From, w.now-c.WindowMillis))
+				spent += max(0, to-max(o.From, f.now-c.WindowMillis))
 			}
 		}
 		if c.WindowMillis > 0 && spent > c.BudgetMillis {
-			w.addViolation("%s: spent %d of %d", c.Customer, spent, c.BudgetMillis)
+			f.addViolation("%s: spent %d of %d", c.Customer, spent, c.BudgetMillis)
 		}
 	}
 }
 
 // advance moves the time on by one minute and ends the drains and restarts that are
 // due.
-func (w *fakeFleet) advance() {
-	w.now += clock.Minute
-	for _, id := range sortedKeys(w.nextEvent) {
-		if w.nextEvent[id] > w.now {
+func (f *fakeFleet) advance() {
+	f.now += clock.Minute
+	for _, id := range sortedKeys(f.nextEvent) {
+		if f.nextEvent[id] > f.now {
 			continue
 		}
-		s := w.observations[id]
-		switch w.instances[id].Phase {
+		s := f.observations[id]
+		switch f.instances[id].Phase {
 		case model.PhaseReleasing:
 			s.Drained = true
 		case model.PhaseMaintenance:
 			s.Restarted = true
 		}
-		w.observations[id] = s
-		delete(w.nextEvent, id)
+		f.observations[id] = s
+		delete(f.nextEvent, id)
 	}
 }
 
 // lose starts or ends an unplanned loss of a serving instance.
-func (w *fakeFleet) lose(id model.InstanceID, lost bool) {
-	s := w.observations[id]
-	if w.instances[id].Phase != model.PhaseServing || (s.LostSince > 0) == lost {
+func (f *fakeFleet) lose(id model.InstanceID, lost bool) {
+	s := f.observations[id]
+	if f.instances[id].Phase != model.PhaseServing || (s.LostSince > 0) == lost {
 		return
 	}
 	if lost {
-		s.LostSince = w.now
-		w.open(id)
+		s.LostSince = f.now
+		f.open(id)
 	} else {
 		s.LostSince = 0
-		w.close(id)
+		f.close(id)
 	}
-	w.observations[id] = s
+	f.observations[id] = s
 }
 
 // unfinished returns the number of instances still to be maintained for a
 // declaration.
-func (w *fakeFleet) unfinished(m model.Maintenance) int {
+func (f *fakeFleet) unfinished(m model.Maintenance) int {
 	n := 0
-	for _, i := range w.instances {
+	for _, i := range f.instances {
 		if m.Selector.Matches(i) && i.MaintainedAt < m.DeclaredAt {
 			n++
 		}
@@ -244,11 +244,11 @@
 }
 
 // record records the stops and unmet deadlines of a plan.
-func (w *fakeFleet) record(p Plan) {
-	w.stopped = w.stopped || len(p.Stops) > 0
+func (f *fakeFleet) record(p Plan) {
+	f.stopped = f.stopped || len(p.Stops) > 0
 	for _, l := range p.UnmetDeadlines {
-		if w.firstUnmet[l.Wave] == 0 {
-			w.firstUnmet[l.Wave] = w.now
+		if f.firstUnmet[l.Wave] == 0 {
+			f.firstUnmet[l.Wave] = f.now
 		}
 	}
 }
