core/state: say what counts and indexes refer to

unplacedMachines counted machines for unplaced tasks, bestEffort was a count with a flag's name, and the indexes in TaskID, Wave.Deadline and the failure count of a gang task were left to the reader. Only comments and unexported identifiers change.

--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -66,8 +66,10 @@
 	Job ID
 	// Occurrence is the index of the repetition of a scheduled job, from 0.
 	Occurrence int
-	Step       int
-	Index      int
+	// Step is the index of the step in the job, and Index that of the task in
+	// the step, both from 0.
+	Step  int
+	Index int
 }
 
 // Queue is the configuration of one queue.
@@ -153,7 +155,8 @@
 	// LongRunning tasks run until the job is cancelled. All other tasks are
 	// finite: they end when their work is done.
 	LongRunning bool
-	Image       string
+	// Image is what the tasks run; tasks of one image behave alike.
+	Image string
 	// LatencyTarget is the limit on the tail latency of a serving task; 0 for
 	// none.
 	LatencyTarget clock.Millis
@@ -212,9 +215,9 @@
 	// Run is the number of the latest start. It only increases, also across
 	// changes of leader, so that two starts never share a number.
 	Run int
-	// Failures counts the failed runs. For a task of a gang it counts the runs
-	// of the gang in which this task failed or, before its latest start, any
-	// task of the gang failed.
+	// Failures counts the failed runs. For a task of a gang it is set to the
+	// count of the gang at each start, so it includes the earlier runs in which
+	// another task of the gang failed.
 	Failures int
 	// Worker and Incarnation are set in PhaseAssigned.
 	Worker      WorkerID
@@ -285,7 +288,8 @@
 	Machines []MachineID
 	// MaxDown limits the machines of the wave that are down at the same time.
 	MaxDown int
-	// DeclaredAt is the leader's time at acceptance. Deadline is later.
+	// DeclaredAt is the leader's time at acceptance. Deadline is the later time
+	// by which the maintenance of every machine should have taken place.
 	DeclaredAt clock.Millis
 	Deadline   clock.Millis
 	// Ordered holds the machines whose maintenance may have been ordered.
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -63,11 +63,12 @@
 
 // RunReport describes a run of a task that is assigned to a worker.
 type RunReport struct {
-	Task       jobs.TaskID
-	Run        int
-	Worker     jobs.WorkerID
-	Percent    int
-	StartedAt  clock.Millis
+	Task      jobs.TaskID
+	Run       int
+	Worker    jobs.WorkerID
+	Percent   int
+	StartedAt clock.Millis
+	// StopReason is empty unless the run is being stopped.
 	StopReason string
 }
 
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -119,7 +119,7 @@
 		if !s.acceptsGroup(w, g, now) || !s.adviceAllows(w, g, now) {
 			continue
 		}
-		n := w.fitCount(w.capacityForFinite(), g)
+		n := w.fitCount(w.capacityForFiniteTasks(), g)
 		inPool += n
 		byRack[w.rack] += n
 		inBestRack = max(inBestRack, byRack[w.rack])
@@ -127,9 +127,9 @@
 	return inPool, inBestRack
 }
 
-// capacityForFinite returns the part of the worker's capacity that its
+// capacityForFiniteTasks returns the part of the worker's capacity that its
 // long-running tasks do not reserve.
-func (w *worker) capacityForFinite() jobs.Resources {
+func (w *worker) capacityForFiniteTasks() jobs.Resources {
 	free := w.capacity
 	for _, r := range w.runs {
 		if r.step.LongRunning {
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -353,7 +353,7 @@
 		return now
 	}
 	hold := s.settings.MaxHoldMillis
-	if worstPermille, bestEffort := w.tailLatency(); bestEffort > 0 && worstPermille > fastTailPermille {
+	if worstPermille, bestEffortTasks := w.tailLatency(); bestEffortTasks > 0 && worstPermille > fastTailPermille {
 		hold = min(hold, speedPeriodMillis)
 	}
 	if end, ok := w.predictNextEnd(now); ok {
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -148,15 +148,15 @@
 	}
 	s.fleet.notedAt = now
 	for _, load := range loads {
-		serving := 0
+		withLongRunning := 0
 		for _, w := range s.workers {
 			if w.pool == load.name && w.hasLongRunning() {
-				serving++
+				withLongRunning++
 			}
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
-			load.name, load.machines, load.needed, len(load.idle), serving, s.pool(load.name).waitingWork()/1000))
+			load.name, load.machines, load.needed, len(load.idle), withLongRunning, s.pool(load.name).waitingWork()/1000))
 	}
 }
 
@@ -277,7 +277,7 @@
 		p.updateArrivalRate()
 		neededMilliCores := int(busyMilliCores[name] + p.waitingWork()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
 		load.needed = (neededMilliCores + perMachine - 1) / perMachine
-		if n := s.pool(name).unplacedMachines(now); n > 0 {
+		if n := s.pool(name).machinesForUnplacedTasks(now); n > 0 {
 			load.needed = max(load.needed, load.machines+n)
 		}
 		slices.SortStableFunc(load.busy, func(x, y *worker) int {
@@ -290,10 +290,10 @@
 	})
 }
 
-// unplacedMachines returns the number of machines that waiting long-running
-// tasks still need after no available worker could take them, mostly because
-// the number of tasks of a step on one worker is limited.
-func (p *pool) unplacedMachines(now clock.Millis) int {
+// machinesForUnplacedTasks returns the number of machines that waiting
+// long-running tasks still need after no available worker could take them,
+// mostly because the number of tasks of a step on one worker is limited.
+func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
 		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.waitingSince > unplacedWaitMillis {
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -45,8 +45,8 @@
 // there exceeds its latency target, and speeds them up step by step once it
 // does not. This follows loads of serving tasks that change within seconds.
 func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
-	worstPermille, bestEffort := w.tailLatency()
-	if bestEffort == 0 {
+	worstPermille, bestEffortTasks := w.tailLatency()
+	if bestEffortTasks == 0 {
 		w.speed = speed{percent: fullSpeedPercent}
 		return
 	}
@@ -89,14 +89,14 @@
 // tailLatency returns the worst tail latency of the serving tasks on the
 // worker, in permille of the target, and the number of best-effort tasks that
 // can be throttled.
-func (w *worker) tailLatency() (worstPermille, bestEffort int) {
+func (w *worker) tailLatency() (worstPermille, bestEffortTasks int) {
 	for _, r := range w.runs {
 		if r.throttleable() {
-			bestEffort++
+			bestEffortTasks++
 		}
 		if r.step.LongRunning && r.step.LatencyTarget > 0 && r.serving() {
 			worstPermille = max(worstPermille, r.load*1000/int(r.step.LatencyTarget))
 		}
 	}
-	return worstPermille, bestEffort
+	return worstPermille, bestEffortTasks
 }
