Rename codec.WorkAnswerToWire to AnswerToWire

WorkAnswer named the message, while the other functions of the package are named after the domain type, here runner.Answer, as CallToWire is after runner.Call.

--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -35,8 +35,8 @@
 	return c, err
 }
 
-// WorkAnswerToWire converts the answer to a call about jobs to its message.
-func WorkAnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
+// AnswerToWire converts the answer to a call about jobs to its message.
+func AnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
 	w := &wirepb.WorkAnswer{
 		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
 		RetryAfterMs: int64(a.RetryAfter), Reason: validUTF8(a.Reason), Jobs: mapAll(a.Jobs, jobSummaryToWire),
@@ -47,9 +47,9 @@
 	return w
 }
 
-// WorkAnswerFromWire converts a message to the answer to a call about jobs. It
+// AnswerFromWire converts a message to the answer to a call about jobs. It
 // returns an error if the kind or the status of a job is not defined.
-func WorkAnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
+func AnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
 	kind, err := enumFromWire("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
 	if err != nil {
 		return runner.Answer{}, err
--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -38,7 +38,7 @@
 			}},
 		}},
 	} {
-		got, err := WorkAnswerFromWire(WorkAnswerToWire(a))
+		got, err := AnswerFromWire(AnswerToWire(a))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, a, cmpopts.EquateEmpty())
 	}
@@ -55,7 +55,7 @@
 		{Jobs: []*wirepb.JobLine{{Status: 77}}},
 		{Report: &wirepb.JobReport{Job: &wirepb.JobLine{Status: -1}}},
 	} {
-		_, err := WorkAnswerFromWire(w)
+		_, err := AnswerFromWire(w)
 		assert.Assert(t, err != nil, "%v", w)
 	}
 }
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("call", err.Error())
 	}
-	w := codec.WorkAnswerToWire(s.Worker.Call(ctx, c))
+	w := codec.AnswerToWire(s.Worker.Call(ctx, c))
 	w.Stamp = codec.StampToWire(s.Stamps.Next())
 	return w, nil
 }
@@ -59,7 +59,7 @@
 			return err
 		}
 		l.client.observe(resp.GetStamp())
-		a, err = codec.WorkAnswerFromWire(resp)
+		a, err = codec.AnswerFromWire(resp)
 		return err
 	})
 	var e *Error
