Reword the codec: plain local names, documented limits, clearer errors

maxTasks shared its name with jobs.MaxTasks but has another value, so it is maxDecodedTasks now and says how the two relate; the two loan limits say what they limit; group.go holds the Raft messages and is raft.go now. anyState did not fill every field, as its comment said. The error about entries that are not consecutive says what is allowed, and its test matches the new words.

--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -18,9 +18,8 @@
 }
 
 // CallFromWire converts a message to a call about jobs. It returns an error if
-// the kind is not defined or a submitted job is not valid. A job is
-// submitted under the id in the path or the JobID of the call, not under that of
-// the job.
+// the kind is not defined or a submitted job is not valid. A job is submitted
+// under the id in the path or the JobID of the call, not under the id of the job.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
 	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
 	if err != nil {
@@ -79,9 +78,9 @@
 	return a, nil
 }
 
-func jobSummaryToWire(l sched.JobSummary) *wirepb.JobLine {
+func jobSummaryToWire(s sched.JobSummary) *wirepb.JobLine {
 	return &wirepb.JobLine{
-		Id: validUTF8(l.ID), Queue: validUTF8(l.Queue), Status: int32(l.Status), AcceptedMs: int64(l.AcceptedAt), OnTimeMs: int64(l.Deadline),
+		Id: validUTF8(s.ID), Queue: validUTF8(s.Queue), Status: int32(s.Status), AcceptedMs: int64(s.AcceptedAt), OnTimeMs: int64(s.Deadline),
 	}
 }
 
@@ -102,10 +101,10 @@
 				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: validUTF8(s.WaitReason),
 			}
 		}),
-		Runs: mapAll(r.Runs, func(x sched.RunReport) *wirepb.JobRunReport {
+		Runs: mapAll(r.Runs, func(run sched.RunReport) *wirepb.JobRunReport {
 			return &wirepb.JobRunReport{
-				Task: taskToWire(x.Task), Run: int64(x.Run), Worker: validUTF8(x.Worker), Percent: int64(x.Percent),
-				StartedMs: int64(x.StartedAt), Stopping: validUTF8(x.StopReason),
+				Task: taskToWire(run.Task), Run: int64(run.Run), Worker: validUTF8(run.Worker), Percent: int64(run.Percent),
+				StartedMs: int64(run.StartedAt), Stopping: validUTF8(run.StopReason),
 			}
 		}),
 	}
@@ -126,10 +125,10 @@
 			WaitReason: sched.WaitReason(s.GetLimit()),
 		})
 	}
-	for _, x := range w.GetRuns() {
+	for _, run := range w.GetRuns() {
 		r.Runs = append(r.Runs, sched.RunReport{
-			Task: taskFromWire(x.GetTask()), Run: int(x.GetRun()), Worker: jobs.WorkerID(x.GetWorker()), Percent: int(x.GetPercent()),
-			StartedAt: clock.Millis(x.GetStartedMs()), StopReason: x.GetStopping(),
+			Task: taskFromWire(run.GetTask()), Run: int(run.GetRun()), Worker: jobs.WorkerID(run.GetWorker()), Percent: int(run.GetPercent()),
+			StartedAt: clock.Millis(run.GetStartedMs()), StopReason: run.GetStopping(),
 		})
 	}
 	return r, nil
--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -24,12 +24,12 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, c, cmpopts.EquateEmpty())
 	}
-	line := sched.JobSummary{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
+	summary := sched.JobSummary{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
 	for _, a := range []runner.Answer{
 		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
-		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{line}},
+		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{summary}},
 		{Report: &sched.JobReport{
-			JobSummary: line, Pool: "p", Now: 7, EndedAt: 6,
+			JobSummary: summary, Pool: "p", Now: 7, EndedAt: 6,
 			Steps: []sched.StepReport{{
 				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Failures: 1, WaitReason: sched.WaitCapacity,
 			}},
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -8,9 +8,10 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// maxTasks limits the tasks of a job over all its occurrences, so that a
-// malformed record cannot make a process allocate memory without limit.
-const maxTasks = 100_000
+// maxDecodedTasks limits the tasks of a decoded job over all its occurrences, so
+// that a malformed record cannot make a process allocate memory without limit. It
+// is above jobs.MaxTasks, the limit for a job file.
+const maxDecodedTasks = 100_000
 
 // JobToWire converts a job to its message. The specification is sent as bytes,
 // because it need not be UTF-8.
@@ -26,7 +27,7 @@
 
 // JobFromWire converts a message to a job. It returns an error if the id is
 // empty, there are no steps, a step has no tasks or depends on itself or a later
-// step, or the job has more than maxTasks tasks.
+// step, or the job has more than maxDecodedTasks tasks.
 func JobFromWire(w *wirepb.Job) (jobs.Job, error) {
 	if err := required("job", "id", w.GetId()); err != nil {
 		return jobs.Job{}, err
@@ -40,7 +41,7 @@
 	totalTasks := int64(0)
 	for i, s := range w.GetSteps() {
 		totalTasks += s.GetCount()
-		if s.GetCount() < 1 || totalTasks > maxTasks {
+		if s.GetCount() < 1 || totalTasks > maxDecodedTasks {
 			return j, jobError(KindRange, "step %d has %d tasks", i, s.GetCount())
 		}
 		for _, dependency := range s.GetAfter() {
@@ -53,12 +54,14 @@
 	if len(j.Steps) == 0 {
 		return j, jobError(KindMissing, "job %s has no steps", j.ID)
 	}
-	if j.OccurrenceCount < 0 || int64(j.OccurrenceCount)*totalTasks > maxTasks {
+	if j.OccurrenceCount < 0 || int64(j.OccurrenceCount)*totalTasks > maxDecodedTasks {
 		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.OccurrenceCount, totalTasks)
 	}
 	return j, nil
 }
 
+// jobError returns an Error for a job, its record or an operation on the job
+// state.
 func jobError(kind Kind, format string, args ...any) error {
 	return &Error{Op: "job", Kind: kind, Err: fmt.Errorf(format, args...)}
 }
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -103,8 +103,8 @@
 	for _, o := range r.Occurrences {
 		occurrence := &wirepb.JobOccurrence{}
 		position := int64(0)
-		for _, st := range o.Steps {
-			for _, t := range st.Tasks {
+		for _, step := range o.Steps {
+			for _, t := range step.Tasks {
 				if t != (jobs.TaskState{}) {
 					occurrence.Tasks = append(occurrence.Tasks, &wirepb.JobTaskState{
 						At: position, Phase: int32(t.Phase), Run: int64(t.Run), Fails: int64(t.Failures),
@@ -129,15 +129,15 @@
 	for _, id := range w.GetEnded() {
 		s.EndedJobs = append(s.EndedJobs, jobs.ID(id))
 	}
-	for _, wr := range w.GetRecords() {
-		r, err := recordFromWire(wr)
+	for _, wireRecord := range w.GetRecords() {
+		r, err := recordFromWire(wireRecord)
 		if err != nil {
 			return nil, err
 		}
 		s.Jobs[r.ID] = r
 	}
-	for _, ww := range w.GetWaves() {
-		s.Waves[int(ww.GetNumber())] = waveFromWire(ww)
+	for _, wireWave := range w.GetWaves() {
+		s.Waves[int(wireWave.GetNumber())] = waveFromWire(wireWave)
 	}
 	return s, nil
 }
@@ -150,7 +150,7 @@
 		return nil, err
 	}
 	if w.GetStatus() < 0 || w.GetStatus() > int32(jobs.StatusCancelled) {
-		return nil, jobError(KindRange, "job %s has status %d", j.ID, w.GetStatus())
+		return nil, jobError(KindRange, "job %s has the undefined status %d", j.ID, w.GetStatus())
 	}
 	r := jobs.NewRecord(j, w.GetSeq())
 	r.Status, r.EverAssigned, r.EndedAt = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -11,16 +11,18 @@
 
 // Largest values that are accepted in messages about loans.
 const (
+	// maxLoanSlots limits the slots and the connections of a request or a loan.
 	maxLoanSlots = 1 << 16
-	maxLoanTime  = clock.Hour
+	// maxLoanTime limits the lease and the maximum request time.
+	maxLoanTime = clock.Hour
 )
 
 // LoanRequestToWire converts a request for loans of upstream slots to its
 // message.
-func LoanRequestToWire(a lend.LoanRequest) *wirepb.LendRequest {
+func LoanRequestToWire(r lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
-		Borrower: validUTF8(a.Borrower), Incarnation: a.Incarnation, Number: a.Number, Pool: validUTF8(a.Pool),
-		Slots: int64(a.Slots), Renew: mapAll(a.Renew, idToWire), HoldMs: int64(a.MaxRequestTime),
+		Borrower: validUTF8(r.Borrower), Incarnation: r.Incarnation, Number: r.Number, Pool: validUTF8(r.Pool),
+		Slots: int64(r.Slots), Renew: mapAll(r.Renew, idToWire), HoldMs: int64(r.MaxRequestTime),
 	}
 }
 
@@ -45,10 +47,10 @@
 }
 
 // LoanResponseToWire converts the response to a loan request to its message.
-func LoanResponseToWire(a lend.LoanResponse) *wirepb.LendResponse {
+func LoanResponseToWire(r lend.LoanResponse) *wirepb.LendResponse {
 	return &wirepb.LendResponse{
-		Incarnation: a.Incarnation, LeaseMs: int64(a.Lease),
-		Loans: mapAll(a.Loans, loanToWire), Renewed: mapAll(a.Renewed, idToWire),
+		Incarnation: r.Incarnation, LeaseMs: int64(r.Lease),
+		Loans: mapAll(r.Loans, loanToWire), Renewed: mapAll(r.Renewed, idToWire),
 	}
 }
 
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -13,15 +13,15 @@
 // that loans without a slot or with fewer connections than slots are rejected, as
 // are requests for a negative number of slots.
 func TestLoanRoundTrip(t *testing.T) {
-	a := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, MaxRequestTime: 7}
-	a2, err := LoanRequestFromWire(LoanRequestToWire(a))
+	request := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, MaxRequestTime: 7}
+	request2, err := LoanRequestFromWire(LoanRequestToWire(request))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, a2, a)
-	l := lend.Loan{ID: 1, Instance: "i", Pool: "p", Address: "x", Incarnation: 2, HealthPath: "/h", Slots: 3, Connections: 4}
-	n := lend.LoanResponse{Incarnation: 1, Lease: 2, Loans: []lend.Loan{l}, Renewed: []lend.ID{3}}
-	n2, err := LoanResponseFromWire(LoanResponseToWire(n))
+	assert.DeepEqual(t, request2, request)
+	loan := lend.Loan{ID: 1, Instance: "i", Pool: "p", Address: "x", Incarnation: 2, HealthPath: "/h", Slots: 3, Connections: 4}
+	response := lend.LoanResponse{Incarnation: 1, Lease: 2, Loans: []lend.Loan{loan}, Renewed: []lend.ID{3}}
+	response2, err := LoanResponseFromWire(LoanResponseToWire(response))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, n2, n)
+	assert.DeepEqual(t, response2, response)
 	r := lend.Return{Borrower: "e1", Incarnation: 2, IDs: []lend.ID{3}}
 	assert.DeepEqual(t, ReturnFromWire(ReturnToWire(r)), r)
 	c := lend.Recall{Lender: "e1", Incarnation: 2}
--- a/io/proto/codec/group.go
+++ b/io/proto/codec/raft.go
@@ -138,7 +138,7 @@
 	}
 	for i := 1; i < len(entries); i++ {
 		if entries[i].Index != entries[i-1].Index+1 {
-			return raft.Message{}, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("entry %d follows on entry %d", entries[i].Index, entries[i-1].Index)}
+			return raft.Message{}, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("entry %d follows entry %d; allowed: consecutive indexes", entries[i].Index, entries[i-1].Index)}
 		}
 	}
 	snapshot, err := SnapshotMetaFromWire(w.GetSnapshot())
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -94,14 +94,14 @@
 	if err := restoreClaims(s, w); err != nil {
 		return nil, err
 	}
-	var last uint64
+	var lastVersion uint64
 	for _, t := range w.GetTouches() {
-		if t.GetVersion() < last || t.GetVersion() > w.GetVersion() {
-			return nil, stateError(KindRange, "table change of version %d follows version %d; the table has version %d", t.GetVersion(), last, s.Version)
+		if t.GetVersion() < lastVersion || t.GetVersion() > w.GetVersion() {
+			return nil, stateError(KindRange, "table change of version %d follows version %d; the table has version %d", t.GetVersion(), lastVersion, s.Version)
 		}
-		last = t.GetVersion()
+		lastVersion = t.GetVersion()
 		s.TableChanges = append(s.TableChanges, fleet.TableChange{
-			Version:  model.Version(last),
+			Version:  model.Version(lastVersion),
 			Contract: model.Customer(t.GetContract()),
 			Instance: model.InstanceID(t.GetInstance()),
 		})
@@ -168,7 +168,7 @@
 // first, because the entries of an ExpiringMap expire in the order of the calls
 // of Put.
 func restoreResults(s *fleet.State, w *wirepb.FleetSnapshot) error {
-	var last clock.Millis
+	var lastTime clock.Millis
 	for n, m := range w.GetResults() {
 		r, err := ResultFromWire(m.GetResult())
 		if err != nil {
@@ -178,10 +178,10 @@
 		if m.GetRequest() == "" {
 			return stateError(KindMissing, "a result has no request id")
 		}
-		if n > 0 && t < last {
-			return stateError(KindRange, "a result with time %d ms follows one with time %d ms", t, last)
+		if n > 0 && t < lastTime {
+			return stateError(KindRange, "a result with time %d ms follows one with time %d ms", t, lastTime)
 		}
-		last = t
+		lastTime = t
 		s.Results.Put(model.RequestID(m.GetRequest()), r, t)
 	}
 	return nil
@@ -190,7 +190,7 @@
 // restoreClaims adds the claims to s in the order of the message, for the same
 // reason as restoreResults.
 func restoreClaims(s *fleet.State, w *wirepb.FleetSnapshot) error {
-	var last clock.Millis
+	var lastTime clock.Millis
 	for n, m := range w.GetClaims() {
 		k, err := ClaimKeyFromWire(m.GetKey())
 		if err != nil {
@@ -201,10 +201,10 @@
 			return err
 		}
 		t := clock.Millis(m.GetTimeMs())
-		if n > 0 && t < last {
-			return stateError(KindRange, "a claim with time %d ms follows one with time %d ms", t, last)
+		if n > 0 && t < lastTime {
+			return stateError(KindRange, "a claim with time %d ms follows one with time %d ms", t, lastTime)
 		}
-		last = t
+		lastTime = t
 		s.Claims.Put(k, fleet.HeldClaim{
 			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Incarnation: m.GetRun(),
 			State: state, Status: int(m.GetStatus()),
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -24,7 +24,7 @@
 	return out
 }
 
-// anyState generates a state in which every field is set.
+// anyState generates a state. Incarnations and GoneProcesses stay empty.
 func anyState(t *rapid.T) *fleet.State {
 	s := fleet.New()
 	s.Index, s.Version, s.Time = 900, 800, 70_000
@@ -83,10 +83,10 @@
 	return e
 }
 
-// TestGroupRoundTrip checks that no field of the Raft messages, log entries and
+// TestRaftRoundTrip checks that no field of the Raft messages, log entries and
 // durable state is lost, and that messages with gaps between entries or without a
 // sender are rejected.
-func TestGroupRoundTrip(t *testing.T) {
+func TestRaftRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := anyEntry(t)
 		e2, err := Codec{}.DecodeEntry(Codec{}.EncodeEntry(e))
@@ -112,7 +112,7 @@
 	})
 	m := raft.Message{Kind: raft.MsgAppend, From: 1, To: 2, Entries: []raft.Entry{{Index: 3}, {Index: 5}}}
 	_, err := MessageFromWire(MessageToWire(m))
-	assert.ErrorContains(t, err, "entry 5 follows on entry 3")
+	assert.ErrorContains(t, err, "entry 5 follows entry 3")
 	_, err = MessageFromWire(nil)
 	assert.ErrorContains(t, err, "from 0 to 0")
 }
