Document the settings' fields and name the limits in conf

Half of the fields of Limits, Listen and Consensus had no meaning or unit outside the tables of keys. most, many, keyOf and member are maxBudget, maxAmount, keyByAddress and keyName.

--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/model"
 )
 
-// maxControlMembers is the largest size of the control group. At most 7 instances
-// are reserved for control processes.
+// maxControlMembers is the largest number of members of the control group. At most
+// 7 instances are reserved for control processes.
 const maxControlMembers = 7
 
 // joinDistinct returns the texts separated by commas, in their order and without
@@ -57,9 +57,9 @@
 	d.checkMembers(c.Controls, c.Entries)
 	d.checkOwnMember("control", c.Controls, c.Name, c.Zone)
 	d.checkListen(c.Listen)
-	if most := c.Consensus.ElectionMillis / 3; c.Consensus.HeartbeatMillis > most && d.noProblemIn("consensus/") {
+	if maxHeartbeat := c.Consensus.ElectionMillis / 3; c.Consensus.HeartbeatMillis > maxHeartbeat && d.noProblemIn("consensus/") {
 		d.addProblem("consensus", "heartbeat-ms", fmt.Sprint(c.Consensus.HeartbeatMillis), "above a third of election-ms",
-			fmt.Sprintf("at most %d with election-ms = %d", most, c.Consensus.ElectionMillis))
+			fmt.Sprintf("at most %d with election-ms = %d", maxHeartbeat, c.Consensus.ElectionMillis))
 	}
 	m := c.Maintenance
 	d.checkAtMost("maintenance", "step-ms", m.MaintenanceMillis, "stuck-ms", m.StuckMillis)
@@ -82,13 +82,13 @@
 func (d *decoder[T]) checkMembers(controls, entries []model.Member) {
 	names, addresses := map[model.Process]string{}, map[string]string{}
 	for _, list := range []struct {
-		section string
-		members []model.Member
-		most    int
+		section    string
+		members    []model.Member
+		maxMembers int
 	}{{"control", controls, maxControlMembers}, {"entry", entries, maxEntryMembers}} {
 		slices.SortFunc(list.members, func(a, b model.Member) int { return cmp.Compare(a.Name, b.Name) })
-		if n := len(list.members); n > list.most {
-			d.addProblem(list.section, "", "", fmt.Sprintf("%d members", n), fmt.Sprintf("at most %d members", list.most))
+		if n := len(list.members); n > list.maxMembers {
+			d.addProblem(list.section, "", "", fmt.Sprintf("%d members", n), fmt.Sprintf("at most %d members", list.maxMembers))
 		}
 		for _, m := range list.members {
 			key, value := "member-"+string(m.Name), string(m.Zone)+"@"+m.Address
@@ -124,16 +124,16 @@
 // checkListen checks that no address is given for two listeners, except addresses
 // with port 0, for which the system picks a free port.
 func (d *decoder[T]) checkListen(l Listen) {
-	keyOf := map[string]string{} // by address
+	keyByAddress := map[string]string{}
 	for _, a := range [][2]string{{"callers", l.Callers}, {"upstreams", l.Upstreams}, {"peers", l.Peers}, {"admin", l.Admin}} {
 		key, address := a[0], a[1]
 		if address == "" || strings.HasSuffix(address, ":0") {
 			continue
 		}
-		if other, ok := keyOf[address]; ok {
+		if other, ok := keyByAddress[address]; ok {
 			d.addProblem("listen", key, address, "address also used by "+other, "each address once")
 		}
-		keyOf[address] = key
+		keyByAddress[address] = key
 	}
 }
 
@@ -170,9 +170,9 @@
 		d.addProblem("disruption", "max-unavailable", fmt.Sprint(c.MaxUnavailable), "not below the promised instances",
 			fmt.Sprintf("0 to %d", instances-1))
 	}
-	if most := c.WindowMillis * clock.Millis(instances); c.BudgetMillis > most && d.noProblemIn("pool ", "disruption/budget-ms", "disruption/window-ms") {
+	if maxBudget := c.WindowMillis * clock.Millis(instances); c.BudgetMillis > maxBudget && d.noProblemIn("pool ", "disruption/budget-ms", "disruption/window-ms") {
 		d.addProblem("disruption", "budget-ms", fmt.Sprint(c.BudgetMillis), "above window-ms times the promised instances",
-			fmt.Sprintf("at most %d", most))
+			fmt.Sprintf("at most %d", maxBudget))
 	}
 	if (c.MaxUnavailable == 0) != (c.BudgetMillis == 0) && d.noProblemIn("disruption/") {
 		d.addProblem("disruption", "budget-ms", fmt.Sprint(c.BudgetMillis), fmt.Sprintf("inconsistent with max-unavailable = %d", c.MaxUnavailable),
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -12,22 +12,33 @@
 	// upstreams. Both are empty for a control process.
 	Callers   string
 	Upstreams string
-	Peers     string
-	Admin     string
+	// Peers receives the messages of other processes of the system and of the
+	// command line.
+	Peers string
+	// Admin serves the metrics, the health check and the time line.
+	Admin string
 }
 
 // Limits holds the limits of an entry process that do not depend on contracts.
 type Limits struct {
+	// MaxHeaderBytes and MaxBodyBytes are the largest header and body of a request.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	// BodyReadMillis is at most MaxTimeoutMillis.
+	// BodyReadMillis is the longest time to read the body of a request. It is at
+	// most MaxTimeoutMillis.
 	BodyReadMillis clock.Millis
-	// DefaultTimeoutMillis is at most MaxTimeoutMillis.
+	// DefaultTimeoutMillis is the timeout of a request that does not set one. It is
+	// at most MaxTimeoutMillis.
 	DefaultTimeoutMillis clock.Millis
-	MaxTimeoutMillis     clock.Millis
-	LeaseMillis          clock.Millis
-	QueueRingSize        int
-	RetryPercent         int
+	// MaxTimeoutMillis is the longest timeout that a request may set.
+	MaxTimeoutMillis clock.Millis
+	// LeaseMillis is the lease of an announcement; equal in all processes.
+	LeaseMillis clock.Millis
+	// QueueRingSize is the capacity of the dispatcher's input ring, in messages.
+	QueueRingSize int
+	// RetryPercent is the share of retries of this process, in percent of the first
+	// attempts.
+	RetryPercent int
 	// DrainMillis is the longest time that a graceful stop takes. It is at least
 	// MaxTimeoutMillis, so that a stop interrupts no request.
 	DrainMillis clock.Millis
@@ -45,14 +56,19 @@
 
 // ControlLimits holds the limits of a control process.
 type ControlLimits struct {
+	// LeaseMillis is the lease of an announcement; equal in all processes.
 	LeaseMillis clock.Millis
+	// DrainMillis is the longest time that a graceful stop takes.
 	DrainMillis clock.Millis
 }
 
 // Consensus holds the timing of the Raft group and the file sizes of its log.
 type Consensus struct {
+	// ElectionMillis is the shortest time without a message from the leader after
+	// which a follower starts an election. The longest is twice that.
 	ElectionMillis clock.Millis
-	// HeartbeatMillis is at most a third of ElectionMillis.
+	// HeartbeatMillis is the interval of the leader's heartbeats. It is at most a
+	// third of ElectionMillis.
 	HeartbeatMillis clock.Millis
 	// SnapshotEvery is the number of log entries from one snapshot to the next.
 	SnapshotEvery int
@@ -60,7 +76,8 @@
 	SegmentBytes int64
 }
 
-// Platform is the address of the platform's interface in one availability zone.
+// Platform is the address of the API of the platform that hosts the instances, in
+// one availability zone.
 type Platform struct {
 	Zone    model.Zone
 	Address string
@@ -127,9 +144,9 @@
 	// MaxExchangeMoves limits the moves of one decision whose only purpose is to
 	// spread pools better over failure domains.
 	MaxExchangeMoves int
-	// SurgePreference says what to keep low when demand exceeds a pool:
-	// roll-out-time (waiting requests) or buffer-cost (idle instances); off leaves
-	// surges to the queues.
+	// SurgePreference says what to keep low when demand exceeds the capacity of a
+	// pool: roll-out-time (waiting requests) or buffer-cost (idle instances). The
+	// value off leaves surges to the queues.
 	SurgePreference string
 	// SurgeMinSpare is the number of instances of each spare pool that are never
 	// lent to a surge.
@@ -150,17 +167,17 @@
 // LoadContract reads a contract from a file.
 func LoadContract(path string) (model.Contract, error) { return load(path, ParseContract) }
 
-// ParseEntry parses the settings of an entry process. Errors name file.
+// ParseEntry parses the settings of an entry process. file names the file in errors.
 func ParseEntry(file string, data []byte) (Entry, error) {
 	return decode("entry settings", file, data, entryKeys(), checkEntry)
 }
 
-// ParseControl parses the settings of a control process. Errors name file.
+// ParseControl parses the settings of a control process. file names the file in errors.
 func ParseControl(file string, data []byte) (Control, error) {
 	return decode("control settings", file, data, controlKeys(), checkControl)
 }
 
-// ParseContract parses a contract. Errors name file.
+// ParseContract parses a contract. file names the file in errors.
 func ParseContract(file string, data []byte) (model.Contract, error) {
 	return decode("contract", file, data, contractKeys(), checkContract)
 }
--- a/io/proto/conf/decode.go
+++ b/io/proto/conf/decode.go
@@ -58,7 +58,8 @@
 }
 
 // decode parses data according to the table of keys, then calls check for the
-// checks across keys. It returns an *Error with all problems of the file.
+// checks across keys, such as one value being at most another. It returns an
+// *Error with all problems of the file.
 func decode[T any](op, file string, data []byte, keys []Key[T], check func(*decoder[T])) (t T, err error) {
 	// Shadows and non-unique sections keep duplicates, which the library otherwise
 	// merges silently. Only "=" is a delimiter, because addresses contain colons.
@@ -120,12 +121,13 @@
 // value is not allowed.
 func (d *decoder[T]) readKey(section, key, value string) {
 	for _, k := range d.keys {
-		name, inSection := matchPlaceholder(k.Section, section)
-		member, found := matchPlaceholder(k.Name, key)
+		// At most one of the two names is not empty: see Key.Section.
+		sectionName, inSection := matchPlaceholder(k.Section, section)
+		keyName, found := matchPlaceholder(k.Name, key)
 		if !inSection || !found {
 			continue
 		}
-		if !k.set(&d.value, name+member, value) {
+		if !k.set(&d.value, sectionName+keyName, value) {
 			d.addProblem(section, key, value, "value not allowed", k.Allowed)
 		}
 		return
--- a/io/proto/conf/error.go
+++ b/io/proto/conf/error.go
@@ -19,7 +19,7 @@
 	KindInvalid
 )
 
-// Problem is one fault of a file. Fields that do not apply are empty.
+// Problem is one problem found in a file. Fields that do not apply are empty.
 type Problem struct {
 	File    string
 	Section string
@@ -58,7 +58,7 @@
 	Op   string
 	Kind Kind
 	Err  error
-	// Problems lists every fault found: first those of single keys in the order of
+	// Problems lists every problem found: first those of single keys in the order of
 	// the file, then absent keys, then those found by checks across keys. It is
 	// empty for KindRead.
 	Problems []Problem
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -25,7 +25,7 @@
 // LoadJob reads a job from a file.
 func LoadJob(path string) (jobs.Job, error) { return load(path, ParseJob) }
 
-// ParseJob parses a job. Errors name file.
+// ParseJob parses a job. file names the file in errors.
 func ParseJob(file string, data []byte) (jobs.Job, error) {
 	f, err := decode("job", file, data, jobKeys(), checkJob)
 	return f.job, err
@@ -58,12 +58,12 @@
 
 // stepKeys returns the keys of the section of a step. All of them are optional.
 func stepKeys() []Key[jobFile] {
-	const many = 1_000_000
+	const maxAmount = 1_000_000
 	return []Key[jobFile]{
 		stepIntKey("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.TaskCount }),
-		stepIntKey("milli-cores", "1/1000 core", 0, many, "processor time of a task", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
-		stepIntKey("memory-mib", "MiB", 0, many*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
-		stepIntKey("accelerators", "accelerators", 0, many, "accelerators of a task", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
+		stepIntKey("milli-cores", "1/1000 core", 0, maxAmount, "processor time of a task", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
+		stepIntKey("memory-mib", "MiB", 0, maxAmount*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
+		stepIntKey("accelerators", "accelerators", 0, maxAmount, "accelerators of a task", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
 		stepIntKey("estimate-ms", "ms", 0, 366*clock.Day, "rough duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
 		stepIntKey("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.MaxPerWorker }),
 		stepIntKey("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
@@ -139,14 +139,14 @@
 		for _, n := range dependencies {
 			dependency := slices.Index(f.stepNames, n)
 			if dependency < 0 || dependency >= i {
-				d.addProblem("step "+f.stepNames[i], "after", n, "no step further up has this name", joinDistinct(f.stepNames[:i]))
+				d.addProblem("step "+f.stepNames[i], "after", n, "no earlier step has this name", joinDistinct(f.stepNames[:i]))
 				continue
 			}
 			f.job.Steps[i].DependsOn = append(f.job.Steps[i].DependsOn, dependency)
 		}
 	}
 	if len(f.job.Steps) == 0 {
-		d.addProblem("step "+namePlaceholder, "", "", "no step", "one section or more, with a key in it")
+		d.addProblem("step "+namePlaceholder, "", "", "no step", "at least one section [step NAME] with a key")
 	}
 	if tasks*max(f.job.OccurrenceCount, 1) > jobs.MaxTasks {
 		d.addProblem("job", "", fmt.Sprint(tasks*max(f.job.OccurrenceCount, 1)), "too many tasks over all occurrences", fmt.Sprintf("at most %d", jobs.MaxTasks))
--- a/io/proto/conf/key.go
+++ b/io/proto/conf/key.go
@@ -42,8 +42,8 @@
 // matchPlaceholder returns the name that stands in for the placeholder of pattern;
 // ok is false if text does not match.
 func matchPlaceholder(pattern, text string) (name string, ok bool) {
-	prefix, isFamily := strings.CutSuffix(pattern, namePlaceholder)
-	if !isFamily {
+	prefix, hasPlaceholder := strings.CutSuffix(pattern, namePlaceholder)
+	if !hasPlaceholder {
 		return "", pattern == text
 	}
 	name, ok = strings.CutPrefix(text, prefix)
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -151,7 +151,7 @@
 // contractKeys returns the table of keys of a contract.
 func contractKeys() []Key[model.Contract] {
 	type contract = model.Contract
-	const many = 1_000_000
+	const maxAmount = 1_000_000
 	return []Key[contract]{
 		textKey("contract", "customer", "", nameRule, "holder of the contract", func(c *contract) *model.Customer { return &c.Customer }),
 		{
@@ -162,8 +162,8 @@
 				return ok
 			},
 		},
-		intKey("contract", "concurrency", "requests", "0", 0, many, "requests in flight over all entry processes; 0 derives it from the slots of the instances", func(c *contract) *int { return &c.Concurrency }),
-		intKey("contract", "queue", "requests", "0", 0, many, "requests that may wait over all entry processes", func(c *contract) *int { return &c.Queue }),
+		intKey("contract", "concurrency", "requests", "0", 0, maxAmount, "requests in flight over all entry processes; 0 derives it from the slots of the instances", func(c *contract) *int { return &c.Concurrency }),
+		intKey("contract", "queue", "requests", "0", 0, maxAmount, "requests that may wait over all entry processes", func(c *contract) *int { return &c.Queue }),
 		intKey("contract", "retry-percent", "%", "10", 0, 100, "retries as a share of the first tries", func(c *contract) *int { return &c.RetryPercent }),
 		{
 			Section: "pool " + namePlaceholder, Name: "instances", Unit: "instances", Allowed: "1 to 100000",
@@ -181,6 +181,6 @@
 		optional(textKey("spare", "pool", "", nameRule, "pool in which the spare instances wait; not a promised pool", func(c *contract) *model.Pool { return &c.SparePool })),
 		intKey("quota", "milli-cores", "1/1000 core", "0", 0, 1_000_000_000, "processor time that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.MilliCores }),
 		intKey("quota", "memory-mib", "MiB", "0", 0, 1_000_000_000, "memory that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.MemoryMiB }),
-		intKey("quota", "accelerators", "accelerators", "0", 0, many, "accelerators that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.Accelerators }),
+		intKey("quota", "accelerators", "accelerators", "0", 0, maxAmount, "accelerators that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.Accelerators }),
 	}
 }
