Reword locals and the distance between versions in report

The comment on versionsBehind counted versions, while a version is a log index: it is logEntriesBehind now and says so. Status says what Commit and Version are, the page data what TextY and Base are.

--- a/io/proto/report/events.go
+++ b/io/proto/report/events.go
@@ -39,10 +39,10 @@
 // are empty.
 func eventObject(e model.Event) object {
 	var o object
-	for _, s := range eventFields(&e) {
-		v := reflect.ValueOf(s.pointer).Elem()
-		if s.required || !v.IsZero() {
-			o = append(o, field{s.name, v.Interface()})
+	for _, f := range eventFields(&e) {
+		v := reflect.ValueOf(f.pointer).Elem()
+		if f.required || !v.IsZero() {
+			o = append(o, field{f.name, v.Interface()})
 		}
 	}
 	return o
@@ -68,16 +68,16 @@
 	}
 	out := make([]model.Event, len(items))
 	for i, item := range items {
-		for _, s := range eventFields(&out[i]) {
-			raw, ok := item[s.name]
-			if !ok && s.required {
-				return nil, &Error{Op: "decode events", Kind: KindDecode, Err: fmt.Errorf("event %d has no %s", i, s.name)}
+		for _, f := range eventFields(&out[i]) {
+			raw, ok := item[f.name]
+			if !ok && f.required {
+				return nil, &Error{Op: "decode events", Kind: KindDecode, Err: fmt.Errorf("event %d has no %s", i, f.name)}
 			}
 			if !ok {
 				continue
 			}
-			if err := json.Unmarshal(raw, s.pointer); err != nil {
-				return nil, &Error{Op: "decode events", Kind: KindDecode, Err: fmt.Errorf("event %d, %s: %w", i, s.name, err)}
+			if err := json.Unmarshal(raw, f.pointer); err != nil {
+				return nil, &Error{Op: "decode events", Kind: KindDecode, Err: fmt.Errorf("event %d, %s: %w", i, f.name, err)}
 			}
 		}
 	}
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -82,46 +82,46 @@
 
 func limitHitsTable(hits []trail.LimitHit) *table {
 	t := newTable("LIMIT", "EVENT", "COUNT", "FIRST", "LAST", "TO-UNBLOCK", "DETAIL")
-	for _, l := range hits {
-		t.add(l.Limit, l.Kind, l.Count, timeText(l.First.Wall), timeText(l.Last.Wall), adviceText(l.Advice), l.Detail)
+	for _, h := range hits {
+		t.add(h.Limit, h.Kind, h.Count, timeText(h.First.Wall), timeText(h.Last.Wall), adviceText(h.Advice), h.Detail)
 	}
 	return t
 }
 
 func obstaclesTable(obstacles []trail.Obstacle) *table {
 	t := newTable("OBSTACLE", "CONCERNS", "SINCE", "TO-UNBLOCK")
-	for _, k := range obstacles {
+	for _, o := range obstacles {
 		since := "-"
-		if k.Since != 0 {
-			since = timeText(k.Since)
+		if o.Since != 0 {
+			since = timeText(o.Since)
 		}
-		t.add(k.Kind, obstacleSubjects(k), since, adviceText(k.Advice))
+		t.add(o.Kind, obstacleSubjects(o), since, adviceText(o.Advice))
 	}
 	return t
 }
 
 // obstacleSubjects returns the objects and values that an obstacle concerns, as
 // name=value pairs.
-func obstacleSubjects(k trail.Obstacle) string {
+func obstacleSubjects(o trail.Obstacle) string {
 	var parts []string
 	add := func(name, value string) {
 		if value != "" {
 			parts = append(parts, name+"="+value)
 		}
 	}
-	add("instance", string(k.Instance))
-	add("pool", string(k.Pool))
-	add("process", string(k.Process))
-	add("customer", string(k.Customer))
-	add("maintenance", k.Maintenance)
-	if k.Limit != "" {
-		add("limit", fmt.Sprintf("%s:%d", k.Limit, k.Value))
+	add("instance", string(o.Instance))
+	add("pool", string(o.Pool))
+	add("process", string(o.Process))
+	add("customer", string(o.Customer))
+	add("maintenance", o.Maintenance)
+	if o.Limit != "" {
+		add("limit", fmt.Sprintf("%s:%d", o.Limit, o.Value))
 	}
-	if k.Missing > 0 {
-		add("missing", fmt.Sprint(k.Missing))
+	if o.Missing > 0 {
+		add("missing", fmt.Sprint(o.Missing))
 	}
-	if k.Deadline > 0 {
-		add("deadline", timeText(k.Deadline))
+	if o.Deadline > 0 {
+		add("deadline", timeText(o.Deadline))
 	}
 	return strings.Join(parts, " ")
 }
@@ -154,15 +154,15 @@
 				{"maintenance", p.Maintenance},
 			}
 		})},
-		field{"bounds", mapObjects(x.LimitHits, func(b trail.LimitHit) object {
+		field{"bounds", mapObjects(x.LimitHits, func(h trail.LimitHit) object {
 			return object{
-				{"limit", b.Limit},
-				{"kind", b.Kind},
-				{"count", b.Count},
-				{"first", stampObject(b.First)},
-				{"last", stampObject(b.Last)},
-				{"detail", b.Detail},
-				{"advice", adviceObject(b.Advice)},
+				{"limit", h.Limit},
+				{"kind", h.Kind},
+				{"count", h.Count},
+				{"first", stampObject(h.First)},
+				{"last", stampObject(h.Last)},
+				{"detail", h.Detail},
+				{"advice", adviceObject(h.Advice)},
 			}
 		})},
 		field{"blocks", mapObjects(x.Obstacles, obstacleObject)},
@@ -172,19 +172,19 @@
 	)
 }
 
-func obstacleObject(k trail.Obstacle) object {
+func obstacleObject(o trail.Obstacle) object {
 	return object{
-		{"kind", k.Kind},
-		{"instance", k.Instance},
-		{"pool", k.Pool},
-		{"process", k.Process},
-		{"customer", k.Customer},
-		{"maintenance", k.Maintenance},
-		{"limit", k.Limit},
-		{"value", k.Value},
-		{"missing", k.Missing},
-		{"since-ms", k.Since},
-		{"deadline-ms", k.Deadline},
-		{"advice", adviceObject(k.Advice)},
+		{"kind", o.Kind},
+		{"instance", o.Instance},
+		{"pool", o.Pool},
+		{"process", o.Process},
+		{"customer", o.Customer},
+		{"maintenance", o.Maintenance},
+		{"limit", o.Limit},
+		{"value", o.Value},
+		{"missing", o.Missing},
+		{"since-ms", o.Since},
+		{"deadline-ms", o.Deadline},
+		{"advice", adviceObject(o.Advice)},
 	}
 }
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -34,22 +34,22 @@
 }
 
 // Jobs writes jobs that have not ended. total is the number of such jobs in all
-// queues; lines may hold only some of them.
-func Jobs(w io.Writer, f Format, lines []sched.JobSummary, total int) error {
+// queues; summaries may hold only some of them.
+func Jobs(w io.Writer, f Format, summaries []sched.JobSummary, total int) error {
 	return render(w, "report jobs", f, func() string {
 		t := newTable("ID", "QUEUE", "STATUS", "ACCEPTED", "ON-TIME-UNTIL")
-		for _, l := range lines {
-			t.add(l.ID, l.Queue, l.Status, timeText(l.AcceptedAt), timeText(l.Deadline))
+		for _, s := range summaries {
+			t.add(s.ID, s.Queue, s.Status, timeText(s.AcceptedAt), timeText(s.Deadline))
 		}
-		return t.String() + fmt.Sprintf("%d shown, %d not ended in all queues\n", len(lines), total)
+		return t.String() + fmt.Sprintf("%d shown, %d not ended in all queues\n", len(summaries), total)
 	}, func() any {
-		return object{{"total", total}, {"jobs", mapObjects(lines, jobSummaryObject)}}
+		return object{{"total", total}, {"jobs", mapObjects(summaries, jobSummaryObject)}}
 	})
 }
 
-func jobSummaryObject(l sched.JobSummary) object {
+func jobSummaryObject(s sched.JobSummary) object {
 	return object{
-		{"id", l.ID}, {"queue", l.Queue}, {"status", l.Status.String()}, {"accepted-ms", l.AcceptedAt}, {"on-time-until-ms", l.Deadline},
+		{"id", s.ID}, {"queue", s.Queue}, {"status", s.Status.String()}, {"accepted-ms", s.AcceptedAt}, {"on-time-until-ms", s.Deadline},
 	}
 }
 
@@ -73,8 +73,8 @@
 	}
 	writeSection(&b, "Steps", steps)
 	runs := newTable("OCCURRENCE", "STEP", "INDEX", "RUN", "WORKER", "PERCENT", "SINCE", "STOPPING")
-	for _, x := range r.Runs {
-		runs.add(x.Task.Occurrence, x.Task.Step, x.Task.Index, x.Run, x.Worker, x.Percent, ageText(r.Now, x.StartedAt), x.StopReason)
+	for _, run := range r.Runs {
+		runs.add(run.Task.Occurrence, run.Task.Step, run.Task.Index, run.Run, run.Worker, run.Percent, ageText(r.Now, run.StartedAt), run.StopReason)
 	}
 	writeSection(&b, "Running", runs)
 	if len(reasons) > 0 {
@@ -84,11 +84,11 @@
 }
 
 // waitReasonText returns the text of a reason, or its name if it has no text.
-func waitReasonText(l sched.WaitReason) string {
-	if text, ok := waitReasonTexts[l]; ok {
+func waitReasonText(reason sched.WaitReason) string {
+	if text, ok := waitReasonTexts[reason]; ok {
 		return text
 	}
-	return printable(string(l))
+	return printable(string(reason))
 }
 
 func jobObject(r sched.JobReport) object {
@@ -109,16 +109,16 @@
 				{"waits-for", s.WaitReason},
 			}
 		})},
-		{"running", mapObjects(r.Runs, func(x sched.RunReport) object {
+		{"running", mapObjects(r.Runs, func(run sched.RunReport) object {
 			return object{
-				{"occurrence", x.Task.Occurrence},
-				{"step", x.Task.Step},
-				{"index", x.Task.Index},
-				{"run", x.Run},
-				{"worker", x.Worker},
-				{"percent", x.Percent},
-				{"started-ms", x.StartedAt},
-				{"stopping", x.StopReason},
+				{"occurrence", run.Task.Occurrence},
+				{"step", run.Task.Step},
+				{"index", run.Task.Index},
+				{"run", run.Run},
+				{"worker", run.Worker},
+				{"percent", run.Percent},
+				{"started-ms", run.StartedAt},
+				{"stopping", run.StopReason},
 			}
 		})},
 	}...)
--- a/io/proto/report/limits.go
+++ b/io/proto/report/limits.go
@@ -38,8 +38,8 @@
 // operandsText returns the names and values of the operands of a limit.
 func operandsText(l limits.Limit) string {
 	texts := make([]string, 0, len(l.Operands))
-	for _, f := range l.Operands {
-		texts = append(texts, fmt.Sprintf("%s %d", f.Name, f.Value))
+	for _, o := range l.Operands {
+		texts = append(texts, fmt.Sprintf("%s %d", o.Name, o.Value))
 	}
 	return strings.Join(texts, ", ")
 }
@@ -49,6 +49,6 @@
 		{"limit", l.Name},
 		{"value", l.Value},
 		{"rule", l.Rule},
-		{"from", mapObjects(l.Operands, func(f limits.Operand) object { return object{{f.Name, f.Value}} })},
+		{"from", mapObjects(l.Operands, func(o limits.Operand) object { return object{{o.Name, o.Value}} })},
 	}
 }
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -180,9 +180,9 @@
 	return "no"
 }
 
-// versionsBehind returns the number of versions between the table that the process
-// uses and the current table.
-func versionsBehind(s Status, p ProcessStatus) model.Version {
+// logEntriesBehind returns how far the table of the process is behind the current
+// one, in log entries: a version is the index of a log entry.
+func logEntriesBehind(s Status, p ProcessStatus) model.Version {
 	return s.Version - min(p.Version, s.Version)
 }
 
@@ -199,14 +199,14 @@
 	return render(w, "report status", f, func() string {
 		member := newTable("MEMBER", "ROLE", "LEADER", "TERM", "COMMIT", "VERSION", "TIME", "CONTRACTS", "INSTANCES", "MAINTENANCE")
 		member.add(s.Member, s.Role, s.Leader, s.Term, s.Commit, s.Version, timeText(s.Now), len(s.Contracts), len(s.Instances), len(s.Maintenance))
-		t := newTable("PROCESS", "ZONE", "VERSION", "BEHIND", "DRAINED", "SINCE", "SEEN-AGO", "SILENT", "INCARNATION")
-		current := 0
+		processes := newTable("PROCESS", "ZONE", "VERSION", "BEHIND", "DRAINED", "SINCE", "SEEN-AGO", "SILENT", "INCARNATION")
+		upToDate := 0
 		for _, p := range s.Processes {
 			if p.Version == s.Version && !isSilent(s, p) {
-				current++
+				upToDate++
 			}
-			t.add(p.Name, p.Zone, p.Version, versionsBehind(s, p), p.DrainedVersion, timeText(p.VersionSince), ageText(s.Now, p.LastReportAt), yesNo(isSilent(s, p)), p.Incarnation)
+			processes.add(p.Name, p.Zone, p.Version, logEntriesBehind(s, p), p.DrainedVersion, timeText(p.VersionSince), ageText(s.Now, p.LastReportAt), yesNo(isSilent(s, p)), p.Incarnation)
 		}
-		return fmt.Sprintf("%s\n%s\n%d of %d processes report and run version %d\n", member, t, current, len(s.Processes), s.Version)
+		return fmt.Sprintf("%s\n%s\n%d of %d processes report and run version %d\n", member, processes, upToDate, len(s.Processes), s.Version)
 	}, func() any { return statusObject(s) })
 }
--- a/io/proto/report/measures.go
+++ b/io/proto/report/measures.go
@@ -10,7 +10,7 @@
 	"camphorridge/core/state/trail"
 )
 
-// Measures writes the roll-out times of changes, the number of moves and finished
+// Measures writes the rollout times of contract changes, the number of moves and finished
 // maintenances, the idle instances, and the maintenance waves.
 func Measures(w io.Writer, f Format, m trail.Measures) error {
 	return render(w, "report measures", f, func() string { return measuresText(m) }, func() any { return measuresObject(m) })
@@ -27,8 +27,8 @@
 	t.add("idle instances", m.IdleInstances)
 	b.WriteString(t.String())
 	waves := newTable("WAVE", "DONE", "OF", "ELAPSED")
-	for _, x := range m.Waves {
-		waves.add(x.Name, x.Maintained, x.Selected, spanText(x.Elapsed))
+	for _, wave := range m.Waves {
+		waves.add(wave.Name, wave.Maintained, wave.Selected, spanText(wave.Elapsed))
 	}
 	if len(m.Waves) > 0 {
 		writeSection(&b, "Waves", waves)
@@ -65,8 +65,8 @@
 		{"roll-out-worst-ms", m.LongestRollout},
 		{"moves", m.Moves},
 		{"maintained", m.FinishedMaintenances},
-		{"waves", mapObjects(m.Waves, func(x trail.Wave) object {
-			return object{{"wave", x.Name}, {"done", x.Maintained}, {"of", x.Selected}, {"elapsed-ms", x.Elapsed}}
+		{"waves", mapObjects(m.Waves, func(wave trail.Wave) object {
+			return object{{"wave", wave.Name}, {"done", wave.Maintained}, {"of", wave.Selected}, {"elapsed-ms", wave.Elapsed}}
 		})},
 		{"idle-instances", m.IdleInstances},
 	}
--- a/io/proto/report/objects.go
+++ b/io/proto/report/objects.go
@@ -70,7 +70,7 @@
 		{"process", p.Name},
 		{"zone", p.Zone},
 		{"version", p.Version},
-		{"behind", versionsBehind(s, p)},
+		{"behind", logEntriesBehind(s, p)},
 		{"drained", p.DrainedVersion},
 		{"since-ms", p.VersionSince},
 		{"seen-ms", p.LastReportAt},
--- a/io/proto/report/page.go
+++ b/io/proto/report/page.go
@@ -77,6 +77,8 @@
 type pageLane struct {
 	// Label is the name, shortened to fit the left margin.
 	Name, Label string
+	// TextY and Base are the y coordinates of the label and of the bottom of the
+	// lane.
 	TextY, Base int
 	Count       int
 	Marks       []pageMark
--- a/io/proto/report/report.go
+++ b/io/proto/report/report.go
@@ -14,9 +14,11 @@
 	// Leader is the leader of the control group, or empty if Member knows none.
 	Leader model.Process
 	// Role is the role of Member in the control group.
-	Role    string
-	Term    uint64
-	Commit  model.Version
+	Role string
+	Term uint64
+	// Commit is the Raft commit index.
+	Commit model.Version
+	// Version is the version of the current table.
 	Version model.Version
 	// Now is the time of Member's clock, from which ages are computed.
 	Now         clock.Millis
@@ -116,7 +118,7 @@
 			return &Error{Op: op, Kind: KindFormat, Err: err}
 		}
 	default:
-		return &Error{Op: op, Kind: KindFormat, Err: fmt.Errorf("report is not available in format %s", f)}
+		return &Error{Op: op, Kind: KindFormat, Err: fmt.Errorf("report is not available in format %s; allowed: text, json", f)}
 	}
 	return write(w, op, out)
 }
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -78,7 +78,7 @@
 	return out
 }
 
-func objects(s report.Status) trail.CurrentState {
+func currentState(s report.Status) trail.CurrentState {
 	o := trail.CurrentState{
 		Now: s.Now, Contracts: map[model.Customer]model.Contract{}, Instances: map[model.InstanceID]model.Instance{},
 		Maintenance: map[string]model.Maintenance{},
@@ -116,7 +116,7 @@
 
 func renderers() map[string]renderer {
 	s := status()
-	o := objects(s)
+	state := currentState(s)
 	explain := func(x trail.Explanation) renderer {
 		return func(w io.Writer, f report.Format) error { return report.Explain(w, f, x) }
 	}
@@ -130,15 +130,15 @@
 		"maintenance": func(w io.Writer, f report.Format) error { return report.Maintenance(w, f, s) },
 		"status":      func(w io.Writer, f report.Format) error { return report.Overview(w, f, s) },
 		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, eventsByProcess()) },
-		"customer":    explain(trail.ExplainCustomer(o, events(), "pruefkette")),
-		"instance":    explain(trail.ExplainInstance(o, events(), "i2")),
-		"request":     explain(trail.ExplainRequest(o, events(), "r-1")),
+		"customer":    explain(trail.ExplainCustomer(state, events(), "pruefkette")),
+		"instance":    explain(trail.ExplainInstance(state, events(), "i2")),
+		"request":     explain(trail.ExplainRequest(state, events(), "r-1")),
 		"job":         func(w io.Writer, f report.Format) error { return report.Job(w, f, job()) },
 		"job-status":  func(w io.Writer, f report.Format) error { return report.JobStatus(w, f, "j-1", jobs.StatusRunning) },
 		"jobs": func(w io.Writer, f report.Format) error {
 			return report.Jobs(w, f, []sched.JobSummary{job().JobSummary, {ID: "j-2", Queue: "q", AcceptedAt: start}}, 7)
 		},
-		"unknown": explain(trail.ExplainRequest(o, events(), "r-9")),
+		"unknown": explain(trail.ExplainRequest(state, events(), "r-9")),
 	}
 }
 
