peers: rename exported types and methods after what they do

Leader is a client of the leader and is now LeaderClient (NewLeaderClient); ControlServer.Leader and WorkServer.Leader return an error unless the member leads and are now RequireLeader; Leader.Work is CallRunner, Worker is Runner (workers are the processes that run jobs), Uncertain is MayHaveRun, Announced is AnnounceResult, NeighbourServer.Hear is HandleAnnouncement, Senders.Members is SetMembers, and WaitOverview.For is Unconfirmed, as in mover.Wait.

--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -19,7 +19,7 @@
 		return err
 	}
 	defer p.close()
-	a, err := p.leader.Work(p.ctx, c)
+	a, err := p.leader.CallRunner(p.ctx, c)
 	switch {
 	case err != nil:
 		return failed(op, err)
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -34,7 +34,7 @@
 // operator calls the control group for one command.
 type operator struct {
 	client *peers.Client
-	leader *peers.Leader
+	leader *peers.LeaderClient
 	clock  clock.Clock
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -55,7 +55,7 @@
 	clk := clock.Real()
 	c := peers.NewClient("operator", &stamps{clock: clk})
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	return &operator{client: c, leader: peers.NewLeader(c, members, clk), clock: clk, ctx: ctx, cancel: cancel}, nil
+	return &operator{client: c, leader: peers.NewLeaderClient(c, members, clk), clock: clk, ctx: ctx, cancel: cancel}, nil
 }
 
 func (p *operator) close() {
@@ -94,8 +94,8 @@
 		}
 		for _, w := range v.Waits {
 			fmt.Fprintf(out, "waits: instance %s for %d ms: %s", w.Instance, v.Status.Now-w.Since, w.Reason)
-			if len(w.For) > 0 {
-				fmt.Fprintf(out, " (%s)", strings.Join(w.For, ", "))
+			if len(w.Unconfirmed) > 0 {
+				fmt.Fprintf(out, " (%s)", strings.Join(w.Unconfirmed, ", "))
 			}
 			fmt.Fprintln(out)
 		}
--- a/io/trans/peers/announce.go
+++ b/io/trans/peers/announce.go
@@ -19,8 +19,8 @@
 	maxConnections = 65536
 )
 
-// Announced is the answer to an accepted announcement.
-type Announced struct {
+// AnnounceResult is the answer to an accepted announcement.
+type AnnounceResult struct {
 	Lease clock.Millis
 	// Pool is the pool that the control group assigned the instance to; empty
 	// while it is unknown.
@@ -28,7 +28,7 @@
 }
 
 // AnnounceFunc hands an announcement to the duty that holds them.
-type AnnounceFunc func(a model.Announcement) (Announced, error)
+type AnnounceFunc func(a model.Announcement) (AnnounceResult, error)
 
 // AnnounceHandler serves POST /announce for upstreams. The answer is
 // form-encoded: lease-ms and pool, or reason with status 400 or 409.
--- a/io/trans/peers/announce_test.go
+++ b/io/trans/peers/announce_test.go
@@ -47,9 +47,9 @@
 // that reaches the duty, or whose refusal names neither field nor value.
 func TestAnnounceHandler(t *testing.T) {
 	taken := 0
-	h := AnnounceHandler(func(model.Announcement) (Announced, error) {
+	h := AnnounceHandler(func(model.Announcement) (AnnounceResult, error) {
 		taken++
-		return Announced{Lease: 3000, Pool: "audit"}, nil
+		return AnnounceResult{Lease: 3000, Pool: "audit"}, nil
 	})
 	post := func(body string) (int, string) {
 		r := httptest.NewRequest(http.MethodPost, "/announce", strings.NewReader(body))
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -68,8 +68,8 @@
 	Record func(model.Event)
 }
 
-// Leader returns an error that names the leader unless this member leads.
-func (s *ControlServer[G, M]) Leader() error { return s.leader() }
+// RequireLeader returns an error that names the leader unless this member leads.
+func (s *ControlServer[G, M]) RequireLeader() error { return s.leader() }
 
 func (s *ControlServer[G, M]) leader() error {
 	st := s.Group.Status()
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -24,8 +24,8 @@
 	silentWait = 2 * clock.Second
 )
 
-// Leader finds the leader of the control group and calls it.
-type Leader struct {
+// LeaderClient finds the leader of the control group and calls it.
+type LeaderClient struct {
 	client *Client
 	clock  clock.Clock
 	mu     sync.Mutex
@@ -40,16 +40,16 @@
 	silent map[string]clock.Millis
 }
 
-// NewLeader returns a caller of the leader among the members.
-func NewLeader(c *Client, members []model.Member, clk clock.Clock) *Leader {
-	return &Leader{members: members, client: c, clock: clk, silent: map[string]clock.Millis{}}
+// NewLeaderClient returns a caller of the leader among the members.
+func NewLeaderClient(c *Client, members []model.Member, clk clock.Clock) *LeaderClient {
+	return &LeaderClient{members: members, client: c, clock: clk, silent: map[string]clock.Millis{}}
 }
 
 // Propose hands in a change and waits for its result. The change is handed in
 // again after a lost answer, so it must carry a request identity or be
 // idempotent by itself. An error of KindUnknown or KindUnreachable means that
 // the change may have been accepted.
-func (l *Leader) Propose(ctx context.Context, c model.Change) (model.Result, error) {
+func (l *LeaderClient) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	var r model.Result
 	err := l.call(ctx, "propose", func(ctx context.Context, to remote) error {
 		resp, err := to.control.Propose(ctx, &wirepb.ProposeRequest{Change: codec.ChangeToWire(c), Stamp: l.client.stamp()})
@@ -64,7 +64,7 @@
 }
 
 // Report sends a report and returns the leader's term.
-func (l *Leader) Report(ctx context.Context, r follow.Report) (uint64, error) {
+func (l *LeaderClient) Report(ctx context.Context, r follow.Report) (uint64, error) {
 	var term uint64
 	err := l.call(ctx, "report", func(ctx context.Context, to remote) error {
 		req := reportToWire(r)
@@ -84,12 +84,12 @@
 // call or ctx ends. It follows the address that a member names as the leader.
 // A followed address takes no member's turn: the address may be wrong, and the
 // member whose turn it is may be the leader.
-func (l *Leader) call(ctx context.Context, op string, f func(context.Context, remote) error) error {
+func (l *LeaderClient) call(ctx context.Context, op string, f func(context.Context, remote) error) error {
 	return l.search(ctx, op, attemptTimeout, f)
 }
 
 // search is call with a bound of its own on each try.
-func (l *Leader) search(ctx context.Context, op string, bound clock.Millis, f func(context.Context, remote) error) error {
+func (l *LeaderClient) search(ctx context.Context, op string, bound clock.Millis, f func(context.Context, remote) error) error {
 	next := l.known()
 	var last error
 	for n := 1; ; n++ {
@@ -121,7 +121,7 @@
 	}
 }
 
-func (l *Leader) attempt(ctx context.Context, op, address string, bound clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
+func (l *LeaderClient) attempt(ctx context.Context, op, address string, bound clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
 	ctx, cancel := context.WithTimeout(ctx, bound.Duration())
 	defer cancel()
 	err := f(ctx, l.client.remote(address))
@@ -139,7 +139,7 @@
 // rotate returns the address of the member whose turn it is. Members that
 // lately gave no answer are passed over while there are others, so that a
 // frozen member does not use up the time of call after call.
-func (l *Leader) rotate() string {
+func (l *LeaderClient) rotate() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
@@ -156,20 +156,20 @@
 }
 
 // SetMembers replaces the members that are asked.
-func (l *Leader) SetMembers(all []model.Member) {
+func (l *LeaderClient) SetMembers(all []model.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.members = all
 }
 
-func (l *Leader) list() []model.Member {
+func (l *LeaderClient) list() []model.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.members
 }
 
 // avoid notes that an address gave no answer.
-func (l *Leader) avoid(address string) {
+func (l *LeaderClient) avoid(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent[address] = l.clock.Now() + silentWait
@@ -180,7 +180,7 @@
 
 // follow returns the address of the leader that a member named, or "" when it
 // named none or the one that was just asked.
-func (l *Leader) follow(leader model.Member, asked string) string {
+func (l *LeaderClient) follow(leader model.Member, asked string) string {
 	address := leader.Address
 	for _, m := range l.list() {
 		if m.Name != "" && m.Name == leader.Name {
@@ -193,20 +193,20 @@
 	return address
 }
 
-func (l *Leader) wait(ctx context.Context) {
+func (l *LeaderClient) wait(ctx context.Context) {
 	select {
 	case <-l.clock.After(roundWait):
 	case <-ctx.Done():
 	}
 }
 
-func (l *Leader) known() string {
+func (l *LeaderClient) known() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.last
 }
 
-func (l *Leader) remember(address string) {
+func (l *LeaderClient) remember(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.last = address
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -64,7 +64,7 @@
 		{Address: serveMember(t, member{leaderAddress: wrong})},
 		{Address: serveMember(t, member{leads: true})},
 	}
-	l := NewLeader(NewClient("test", noStamps{}), members, clock.Real())
+	l := NewLeaderClient(NewClient("test", noStamps{}), members, clock.Real())
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	o, err := l.Status(ctx)
@@ -79,7 +79,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	members := []model.Member{{Address: l.Addr().String()}, {Address: serveMember(t, member{leads: true})}}
-	caller := NewLeader(NewClient("test", noStamps{}), members, clock.Real())
+	caller := NewLeaderClient(NewClient("test", noStamps{}), members, clock.Real())
 	for n := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_, err = caller.Status(ctx)
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -17,9 +17,9 @@
 	// TableAfter returns the delta after a version; ready is false while the
 	// process has no confirmed table.
 	TableAfter func(from model.Version) (d model.Delta, ready bool)
-	// Hear takes one announcement; its refusal is not passed back, as the
-	// upstream hears it from the process that it announced itself to.
-	Hear func(a model.Announcement)
+	// HandleAnnouncement takes one announcement. Its refusal is not passed back,
+	// because the upstream gets it from the process that it announced itself to.
+	HandleAnnouncement func(a model.Announcement)
 	// Lender grants and takes back loans of slots.
 	Lender Lender
 	Stamps Stamps
@@ -53,7 +53,7 @@
 		all = append(all, a)
 	}
 	for _, a := range all {
-		s.Hear(a)
+		s.HandleAnnouncement(a)
 	}
 	return &wirepb.AnnounceResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -21,14 +21,14 @@
 
 // WaitOverview says for whom the step of an instance waits.
 type WaitOverview struct {
-	Instance model.InstanceID
-	For      []string
-	Since    clock.Millis
-	Reason   string
+	Instance    model.InstanceID
+	Unconfirmed []string
+	Since       clock.Millis
+	Reason      string
 }
 
 // Status asks the leader for its view.
-func (l *Leader) Status(ctx context.Context) (Overview, error) {
+func (l *LeaderClient) Status(ctx context.Context) (Overview, error) {
 	var o Overview
 	err := l.call(ctx, "status", func(ctx context.Context, to remote) error {
 		resp, err := to.control.Status(ctx, &wirepb.StatusRequest{})
@@ -74,7 +74,7 @@
 	}
 	for _, x := range w.GetWaits() {
 		o.Waits = append(o.Waits, WaitOverview{
-			Instance: model.InstanceID(x.GetInstance()), For: x.GetFor(),
+			Instance: model.InstanceID(x.GetInstance()), Unconfirmed: x.GetFor(),
 			Since: clock.Millis(x.GetSinceMs()), Reason: x.GetReason(),
 		})
 	}
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// Members sets the addresses of the members.
-func (s *Senders) Members(all []raft.Member) {
+// SetMembers sets the addresses of the members.
+func (s *Senders) SetMembers(all []raft.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range all {
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -13,30 +13,30 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Worker is what the server needs of the runner duty.
-type Worker interface {
+// Runner is what the server needs of the runner duty.
+type Runner interface {
 	Call(ctx context.Context, c runner.Call) runner.Answer
 }
 
 // WorkServer serves calls of submitters in a control process.
-type WorkServer[W Worker] struct {
-	Worker W
+type WorkServer[W Runner] struct {
+	Runner W
 	Stamps Stamps
-	// Leader returns an error that names the leader unless this member leads.
-	Leader func() error
+	// RequireLeader returns an error that names the leader unless this member leads.
+	RequireLeader func() error
 }
 
 // Handle passes a call to the runner.
 func (s WorkServer[W]) Handle(ctx context.Context, r *wirepb.WorkCall) (*wirepb.WorkAnswer, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	if err := s.Leader(); err != nil {
+	if err := s.RequireLeader(); err != nil {
 		return nil, err
 	}
 	c, err := codec.CallFromWire(r)
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("call", err.Error())
 	}
-	w := codec.WorkAnswerToWire(s.Worker.Call(ctx, c))
+	w := codec.WorkAnswerToWire(s.Runner.Call(ctx, c))
 	w.Stamp = codec.StampToWire(s.Stamps.Next())
 	return w, nil
 }
@@ -45,9 +45,9 @@
 // takes one commit, so that a frozen leader is better left early.
 const workTimeout clock.Millis = 600
 
-// Work hands a call to the leader. An error of KindUnknown means that the call
+// CallRunner hands a call to the leader. An error of KindUnknown means that the call
 // may have been carried out; after one of another kind it was not.
-func (l *Leader) Work(ctx context.Context, c runner.Call) (runner.Answer, error) {
+func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
 	reached := false
 	req := codec.CallToWire(c)
@@ -55,7 +55,7 @@
 	err := l.search(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
 		resp, err := to.work.Handle(ctx, req)
 		if err != nil {
-			reached = reached || mayHaveRun(err)
+			reached = reached || attemptMayHaveRun(err)
 			return err
 		}
 		l.client.observe(resp.GetStamp())
@@ -69,10 +69,10 @@
 	return a, err
 }
 
-// mayHaveRun reports whether a failed call may have been carried out: not when
+// attemptMayHaveRun reports whether a failed call may have been carried out: not when
 // no connection was made, and not when the member answered that it does not
 // lead.
-func mayHaveRun(err error) bool {
+func attemptMayHaveRun(err error) bool {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return false
@@ -81,8 +81,8 @@
 	return mapped.Kind != KindNotLeader && mapped.Kind != KindInvalid
 }
 
-// Uncertain reports whether a failed call may have been carried out.
-func Uncertain(err error) bool {
+// MayHaveRun reports whether a failed call may have been carried out.
+func MayHaveRun(err error) bool {
 	var e *Error
 	return !errors.As(err, &e) || e.Kind == KindUnknown
 }
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -55,13 +55,13 @@
 	dispatch *dispatcher
 	client   *peers.Client
 	poller   *follow.Poller[*peers.Client]
-	reporter *follow.Reporter[*peers.Leader]
+	reporter *follow.Reporter[*peers.LeaderClient]
 	roster   *roster.Forwarder[*peers.Client]
-	claimer  *claim.Claimer[*peers.Leader]
+	claimer  *claim.Claimer[*peers.LeaderClient]
 	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
 	link     *uplink.Client
 	timed    *timed
-	front    *front.Handler[*timed, *claim.Claimer[*peers.Leader]]
+	front    *front.Handler[*timed, *claim.Claimer[*peers.LeaderClient]]
 	events   *ring.Ring[model.Event]
 	leaving  atomic.Bool
 }
@@ -93,7 +93,7 @@
 	e := &Entry{cfg: cfg, clock: clk, log: lg, events: ring.New[model.Event](eventRing)}
 	e.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	e.client = peers.NewClient(cfg.Name, e.recorder)
-	leader := peers.NewLeader(e.client, cfg.Controls, clk)
+	leader := peers.NewLeaderClient(e.client, cfg.Controls, clk)
 	incarnation := uint64(clk.Now())
 	orders := ring.New[lend.Message](orderRing)
 	e.dispatch = entry.New(entry.Settings{
@@ -154,12 +154,12 @@
 }
 
 // announce takes an announcement from an upstream itself.
-func (e *Entry) announce(a model.Announcement) (peers.Announced, error) {
+func (e *Entry) announce(a model.Announcement) (peers.AnnounceResult, error) {
 	if err := e.dispatch.Announce(a); err != nil {
-		return peers.Announced{}, err
+		return peers.AnnounceResult{}, err
 	}
 	e.roster.Forward(a)
-	got := peers.Announced{Lease: e.cfg.Limits.LeaseMillis}
+	got := peers.AnnounceResult{Lease: e.cfg.Limits.LeaseMillis}
 	if i, ok := e.dispatch.Instance(a.Instance); ok {
 		got.Pool = i.Pool
 	}
@@ -238,7 +238,7 @@
 func (e *Entry) neighbour() *peers.NeighbourServer {
 	return &peers.NeighbourServer{
 		TableAfter: e.tableAfter,
-		Hear: func(a model.Announcement) {
+		HandleAnnouncement: func(a model.Announcement) {
 			// A refused announcement was refused to the upstream itself as well, or
 			// was overtaken by a newer one.
 			_ = e.dispatch.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a})
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -48,11 +48,11 @@
 			}
 		case boot.PlanJoin:
 			// Replies to the leader must find it before the member list is known.
-			c.senders.Members(members)
+			c.senders.SetMembers(members)
 			c.record(model.Event{Kind: model.EventRole, Detail: "waits to be added to the group"})
 		}
 	}
-	c.senders.Members(stored.Snapshot.Members)
+	c.senders.SetMembers(stored.Snapshot.Members)
 	d, err := group.New(f.config(), stored, c.disk, codec.Codec{}, c.clock)
 	if err != nil {
 		return &Error{Op: "start consensus", Kind: KindStore, Err: err}
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -110,7 +110,7 @@
 	if c.work == nil {
 		return nil
 	}
-	return peers.WorkServer[*JobsRunner]{Worker: c.work, Stamps: c.recorder, Leader: s.Leader}
+	return peers.WorkServer[*JobsRunner]{Runner: c.work, Stamps: c.recorder, RequireLeader: s.RequireLeader}
 }
 
 // logNotes writes a line for each decision that changes what the process
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -53,7 +53,7 @@
 // role, term or leader.
 func (m *seat) observe(s group.Status) {
 	m.last.Store(&s)
-	m.senders.Members(s.Members)
+	m.senders.SetMembers(s.Members)
 	if m.changed != nil {
 		m.changed()
 	}
@@ -102,9 +102,9 @@
 	if err != nil {
 		return err
 	}
-	m.senders.Members([]raft.Member{x})
+	m.senders.SetMembers([]raft.Member{x})
 	members, err := d.Join(ctx, x)
-	m.senders.Members(members)
+	m.senders.SetMembers(members)
 	return err
 }
 
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -64,7 +64,7 @@
 
 // Submitter is what an adapter for submitters works with.
 type Submitter struct {
-	leader  *peers.Leader
+	leader  *peers.LeaderClient
 	clock   clock.Clock
 	Log     *log.Logger
 	pinged  *atomic.Int64
@@ -130,11 +130,11 @@
 func (s Submitter) try(ctx context.Context, c runner.Call) runner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait.Duration())
 	defer cancel()
-	a, err := s.leader.Work(ctx, c)
+	a, err := s.leader.CallRunner(ctx, c)
 	if err == nil {
 		return a
 	}
-	if peers.Uncertain(err) {
+	if peers.MayHaveRun(err) {
 		return runner.Answer{Kind: runner.AnswerOutcomeUnknown, Reason: err.Error()}
 	}
 	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingWait, Reason: err.Error()}
@@ -169,7 +169,7 @@
 	recorder := record.New(o.Name, entryEvents, clk)
 	client := peers.NewClient(o.Name, recorder)
 	s := Submitter{
-		leader: peers.NewLeader(client, o.Controls, clk), clock: clk, Log: lg,
+		leader: peers.NewLeaderClient(client, o.Controls, clk), clock: clk, Log: lg,
 		pinged: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{millis: admin.NewHistogram()},
 	}
 	var g run.Group
@@ -233,7 +233,7 @@
 	was := false
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
-		a, err := p.submitter.leader.Work(ctx, runner.Call{Kind: runner.CallPing})
+		a, err := p.submitter.leader.CallRunner(ctx, runner.Call{Kind: runner.CallPing})
 		cancel()
 		if err == nil && a.Kind == runner.AnswerDone {
 			p.submitter.pinged.Store(int64(p.submitter.clock.Now()))
