--- a/io/trans/peers/announce.go
+++ b/io/trans/peers/announce.go
@@ -10,28 +10,32 @@
 	"camphorridge/core/state/model"
 )
 
-// maxAnnounceBytes bounds the body of an announcement.
+// maxAnnounceBytes is the maximum size of the body of an announcement.
 const maxAnnounceBytes = 8 << 10
 
-// Bounds of the values in an announcement.
+// The upper limits of slots and connections in an announcement.
 const (
 	maxSlots       = 1024
 	maxConnections = 65536
 )
 
-// AnnounceResult is the answer to an accepted announcement.
+// AnnounceResult is the response to an accepted announcement.
 type AnnounceResult struct {
+	// Lease is the time after which the announcement expires unless it is
+	// renewed.
 	Lease clock.Millis
-	// Pool is the pool that the control group assigned the instance to; empty
-	// while it is unknown.
+	// Pool is the pool to which the control group assigned the instance; empty
+	// if unknown.
 	Pool model.Pool
 }
 
-// AnnounceFunc hands an announcement to the duty that holds them.
+// AnnounceFunc passes an announcement to the dispatcher. An error means that the
+// announcement is refused.
 type AnnounceFunc func(a model.Announcement) (AnnounceResult, error)
 
-// AnnounceHandler serves POST /announce for upstreams. The answer is
-// form-encoded: lease-ms and pool, or reason with status 400 or 409.
+// AnnounceHandler returns a handler that serves POST /announce to upstreams. The
+// response is form-encoded. It holds lease-ms and, if known, pool; or else
+// reason, with status 400 for a malformed announcement and 409 for a refused one.
 func AnnounceHandler(announce AnnounceFunc) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", func(w http.ResponseWriter, r *http.Request) {
@@ -64,8 +68,8 @@
 	fmt.Fprintln(w, url.Values{"reason": {err.Error()}}.Encode())
 }
 
-// ParseAnnouncement reads a form. Its errors name the field, its value and
-// what is allowed.
+// ParseAnnouncement reads an announcement from a form. The error is an *Error of
+// KindInvalid that names the field, its value and the allowed values.
 func ParseAnnouncement(f url.Values) (model.Announcement, error) {
 	p := formParser{form: f}
 	a := model.Announcement{
@@ -92,7 +96,7 @@
 	return a, nil
 }
 
-// formParser keeps the first error of a form.
+// formParser reads the fields of a form and keeps the first error.
 type formParser struct {
 	form url.Values
 	err  error
--- a/io/trans/peers/announce_test.go
+++ b/io/trans/peers/announce_test.go
@@ -16,7 +16,7 @@
 const validForm = "instance=za-i00&zone=za&rack=za-r0&pool=merge&address=127.0.0.1:9000" +
 	"&slots=8&connections=64&incarnation=7&state=serving&health-path=/health"
 
-// FuzzAnnouncement guards against a form that ends the process, or that is
+// FuzzAnnouncement guards against forms that make the process panic, or that are
 // accepted with values out of range.
 func FuzzAnnouncement(f *testing.F) {
 	f.Add(validForm)
@@ -43,12 +43,12 @@
 	})
 }
 
-// TestAnnounceHandler guards against a malformed or oversized announcement
-// that reaches the duty, or whose refusal names neither field nor value.
+// TestAnnounceHandler guards against accepting a malformed or oversized
+// announcement, and against refusals that do not name the field and its value.
 func TestAnnounceHandler(t *testing.T) {
-	taken := 0
+	accepted := 0
 	h := AnnounceHandler(func(model.Announcement) (AnnounceResult, error) {
-		taken++
+		accepted++
 		return AnnounceResult{Lease: 3000, Pool: "audit"}, nil
 	})
 	post := func(body string) (int, string) {
@@ -68,5 +68,5 @@
 	assert.Assert(t, strings.Contains(reason.Get("reason"), `slots is "many": want a number from 1 to 1024`), body)
 	status, _ = post(validForm + "&x=" + strings.Repeat("y", maxAnnounceBytes))
 	assert.Equal(t, status, http.StatusBadRequest)
-	assert.Equal(t, taken, 1)
+	assert.Equal(t, accepted, 1)
 }
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -16,17 +16,20 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Timing of the connections between processes. A connection that went silent
-// is given up after the timeout of one call, and new calls use new ones.
+// The limits for connections between processes. After a call times out, the idle
+// connections are closed, and later calls open new ones.
 const (
-	dialTimeout  = 500 * time.Millisecond
-	idleTimeout  = 30 * time.Second
-	connsPerHost = 8
+	dialTimeout         = 500 * time.Millisecond
+	idleTimeout         = 30 * time.Second
+	maxIdleConnsPerHost = 8
 )
 
-// Stamps is the hybrid clock that every message carries along.
+// Stamps is the hybrid logical clock of this process. Most messages carry one
+// of its stamps.
 type Stamps interface {
+	// Next returns a stamp for a message to send.
 	Next() model.Stamp
+	// Observe advances the clock past the stamp of a received message.
 	Observe(s model.Stamp)
 }
 
@@ -38,11 +41,12 @@
 	http    *http.Client
 	stamps  Stamps
 	mu      sync.Mutex
-	// remotes holds the twirp clients by address, made at first use.
+	// remotes holds the Twirp clients by address; they are created at first
+	// use.
 	remotes map[string]remote
 }
 
-// remote holds the twirp clients of one address.
+// remote holds the Twirp clients for one address.
 type remote struct {
 	control   wirepb.Control
 	neighbour wirepb.Neighbour
@@ -51,7 +55,7 @@
 	work      wirepb.Work
 }
 
-// NewClient returns a client in the name of the process self.
+// NewClient returns a client for the process self.
 func NewClient(self model.Process, s Stamps) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	t := &Traffic{}
@@ -63,7 +67,7 @@
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         t.dial(d),
 			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: connsPerHost,
+			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		}},
 	}
 }
@@ -93,9 +97,10 @@
 
 func (c *Client) observe(s *wirepb.Stamp) { c.stamps.Observe(codec.StampFromWire(s)) }
 
-// failed closes the idle connections after a call without an answer: those
-// that went silent with it would fail the next calls too.
-func (c *Client) failed(op string, err error) *Error {
+// callError maps the error of a call. After a call without a response it also
+// closes the idle connections: those that stopped working at the same time would
+// make the next calls fail too.
+func (c *Client) callError(op string, err error) *Error {
 	mapped, _ := fromTwirp(op, err)
 	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
 		c.http.CloseIdleConnections()
@@ -103,30 +108,33 @@
 	return mapped
 }
 
-// Watch asks a control member for the delta after a version.
+// Watch requests the delta after version from, for which the control process m
+// waits up to the given time.
 func (c *Client) Watch(ctx context.Context, m model.Member, from model.Version, wait clock.Millis) (model.Delta, error) {
 	resp, err := c.remote(m.Address).control.Watch(ctx, &wirepb.WatchRequest{
 		Process: string(c.Self), Version: uint64(from), WaitMs: int64(wait), Stamp: c.stamp(),
 	})
 	if err != nil {
-		return model.Delta{}, c.failed("watch "+string(m.Name), err)
+		return model.Delta{}, c.callError("watch "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
 	return codec.DeltaFromWire(resp.GetDelta())
 }
 
-// Table asks an entry process for its table.
+// Table requests the delta after version from of an entry process's table. The
+// bool is false while that process has no confirmed table.
 func (c *Client) Table(ctx context.Context, m model.Member, from model.Version) (model.Delta, bool, error) {
 	resp, err := c.remote(m.Address).neighbour.Table(ctx, &wirepb.TableRequest{Version: uint64(from), Stamp: c.stamp()})
 	if err != nil {
-		return model.Delta{}, false, c.failed("table of "+string(m.Name), err)
+		return model.Delta{}, false, c.callError("table of "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
 	d, err := codec.DeltaFromWire(resp.GetDelta())
 	return d, resp.GetReady(), err
 }
 
-// Announce passes announcements to an entry process of the zone.
+// Announce forwards announcements to another entry process of the availability
+// zone.
 func (c *Client) Announce(ctx context.Context, m model.Member, all []model.Announcement) error {
 	req := &wirepb.AnnounceRequest{Stamp: c.stamp()}
 	for _, a := range all {
@@ -134,50 +142,50 @@
 	}
 	resp, err := c.remote(m.Address).neighbour.Announce(ctx, req)
 	if err != nil {
-		return c.failed("announce to "+string(m.Name), err)
+		return c.callError("announce to "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
 	return nil
 }
 
-// Lend asks an entry process for loans of slots.
+// Lend requests loans of slots from an entry process.
 func (c *Client) Lend(ctx context.Context, m model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
 	req := codec.LoanRequestToWire(a)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Lend(ctx, req)
 	if err != nil {
-		return lend.LoanResponse{}, c.failed("ask "+string(m.Name)+" for loans", err)
+		return lend.LoanResponse{}, c.callError("ask "+string(m.Name)+" for loans", err)
 	}
 	c.observe(resp.GetStamp())
 	return codec.LoanResponseFromWire(resp)
 }
 
-// Return gives loans back to an entry process.
+// Return returns loans to the entry process that granted them.
 func (c *Client) Return(ctx context.Context, m model.Member, r lend.Return) error {
 	req := codec.ReturnToWire(r)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Return(ctx, req)
 	if err != nil {
-		return c.failed("return loans to "+string(m.Name), err)
+		return c.callError("return loans to "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
 	return nil
 }
 
-// Recall asks an entry process whether it still holds loans of an earlier run
-// of this one, and ends them.
+// Recall makes an entry process end the loans that an earlier run of this
+// process granted to it. clear is true once all of them have ended.
 func (c *Client) Recall(ctx context.Context, m model.Member, r lend.Recall) (clear bool, err error) {
 	req := codec.RecallToWire(r)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Recall(ctx, req)
 	if err != nil {
-		return false, c.failed("recall loans from "+string(m.Name), err)
+		return false, c.callError("recall loans from "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
 	return resp.GetClear(), nil
 }
 
-// step sends consensus messages to a member.
+// step sends Raft messages to a member.
 func (c *Client) step(ctx context.Context, address string, all []raft.Message) error {
 	req := &wirepb.StepRequest{Stamp: c.stamp()}
 	for _, m := range all {
@@ -185,7 +193,7 @@
 	}
 	resp, err := c.remote(address).consensus.Step(ctx, req)
 	if err != nil {
-		return c.failed("step", err)
+		return c.callError("step", err)
 	}
 	c.observe(resp.GetStamp())
 	return nil
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -13,13 +13,15 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// ConsensusServer serves the messages between control members.
+// ConsensusServer implements the Consensus service, which control processes use
+// among themselves.
 type ConsensusServer[G Group] struct {
 	Group  G
 	Stamps Stamps
 }
 
-// Step passes messages to the consensus duty.
+// Step passes Raft messages to the group. One malformed message rejects the
+// whole request.
 func (s *ConsensusServer[G]) Step(_ context.Context, r *wirepb.StepRequest) (*wirepb.StepResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	all := make([]raft.Message, 0, len(r.GetMessages()))
@@ -36,7 +38,7 @@
 	return &wirepb.StepResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Hello says who this process is.
+// Hello describes this process.
 func (s *ConsensusServer[G]) Hello(_ context.Context, r *wirepb.HelloRequest) (*wirepb.HelloResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	h := s.Group.Hello()
@@ -50,22 +52,22 @@
 	return w, nil
 }
 
-// Hello asks a control process who it is.
+// Hello asks a control process to describe itself.
 func (c *Client) Hello(ctx context.Context, m model.Member) (boot.Hello, error) {
 	resp, err := c.remote(m.Address).consensus.Hello(ctx, &wirepb.HelloRequest{Stamp: c.stamp()})
 	if err != nil {
-		return boot.Hello{}, c.failed("hello "+string(m.Name), err)
+		return boot.Hello{}, c.callError("hello "+string(m.Name), err)
 	}
 	c.observe(resp.GetStamp())
 	h := boot.Hello{
 		Name: model.Process(resp.GetName()), ID: raft.MemberID(resp.GetId()),
 		Initialised: resp.GetInitialised(),
 	}
-	h.Founders, err = each(resp.GetFounders(), codec.MemberFromWire)
+	h.Founders, err = convertAll(resp.GetFounders(), codec.MemberFromWire)
 	return h, err
 }
 
-// Join adds a process to the group on the leader.
+// Join adds a process to the group if this member is the leader.
 func (s *ConsensusServer[G]) Join(ctx context.Context, r *wirepb.JoinRequest) (*wirepb.JoinResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	m, err := codec.MemberFromWire(r.GetMember())
@@ -81,10 +83,11 @@
 	return &wirepb.JoinResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Join asks the leader of the group that the members belong to for membership
-// of self. It asks the members in turn and follows the leader that one names.
+// Join asks the leader of the members' group to add self. It tries the members
+// in turn; if one names another address as the leader's, it tries that too. If
+// all fail, it returns the last error.
 func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) error {
-	var last error
+	var lastErr error
 	for _, m := range members {
 		for address, hops := m.Address, 0; address != "" && hops < 2; hops++ {
 			_, err := c.remote(address).consensus.Join(ctx, &wirepb.JoinRequest{
@@ -94,20 +97,20 @@
 				return nil
 			}
 			mapped, leader := fromTwirp("join "+string(m.Name), err)
-			last, address = mapped, leader.Address
+			lastErr, address = mapped, leader.Address
 		}
 	}
-	return last
+	return lastErr
 }
 
-// TimelineServer serves the events of one process.
+// TimelineServer serves the event log of one process.
 type TimelineServer struct {
 	// Events returns the events after a sequence number and the number of
 	// events that were dropped.
 	Events func(since uint64) (events []model.Event, dropped int64)
 }
 
-// eventsServer adapts TimelineServer to the twirp service.
+// eventsServer adapts TimelineServer to the Twirp service Timeline.
 type eventsServer struct{ TimelineServer }
 
 func (s eventsServer) Events(_ context.Context, r *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
@@ -119,11 +122,12 @@
 	return w, nil
 }
 
-// maxPeerBytes bounds a request from another process; a chunk of a snapshot
-// and a batch of log entries are far below it.
-const maxPeerBytes = 16 << 20
+// maxPeerRequestBytes bounds the body of a request from another process. A chunk
+// of a snapshot and a batch of log entries are far smaller.
+const maxPeerRequestBytes = 16 << 20
 
-// Mux joins the services of a process; nil ones are left out.
+// Mux returns a handler for the services of a process. Services that are nil are
+// left out; t is always served.
 func Mux(control wirepb.Control, consensus wirepb.Consensus, neighbour wirepb.Neighbour, work wirepb.Work, t TimelineServer) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wirepb.TimelinePathPrefix, wirepb.NewTimelineServer(eventsServer{t}))
@@ -139,5 +143,5 @@
 	if work != nil {
 		mux.Handle(wirepb.WorkPathPrefix, wirepb.NewWorkServer(work))
 	}
-	return http.MaxBytesHandler(mux, maxPeerBytes)
+	return http.MaxBytesHandler(mux, maxPeerRequestBytes)
 }
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -17,61 +17,71 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// maxWatchWait bounds how long a watch is held back whatever was asked for.
+// maxWatchWait limits the time for which a Watch call may wait for a change.
 const maxWatchWait = 10 * clock.Second
 
-// Group is what the server needs of the consensus duty.
+// Group gives the servers access to the consensus group of the control
+// processes.
 type Group interface {
 	Propose(ctx context.Context, c model.Change) (model.Result, error)
-	// Read returns once a read that starts now may be answered.
+	// Read returns once the replicated state is recent enough for a
+	// linearizable read that starts now.
 	Read(ctx context.Context) error
+	// Query runs f on this member's copy of the replicated state.
 	Query(ctx context.Context, f func(*fleet.State)) error
-	// Await returns once the table's version is above v, or ctx has ended.
+	// Await returns once the version of the table is above v or ctx has ended.
 	Await(ctx context.Context, v model.Version)
+	// Step passes on Raft messages from other members.
 	Step(all []raft.Message) error
-	// Join adds a member on the leader.
+	// Join adds a member to the group. This member must be the leader.
 	Join(ctx context.Context, m raft.Member) error
 	Status() GroupStatus
-	// Hello says who this process is.
+	// Hello describes this process.
 	Hello() boot.Hello
 }
 
-// GroupStatus is the state of consensus in one member.
+// GroupStatus is the Raft state of one member.
 type GroupStatus struct {
 	Role raft.Role
 	Term uint64
-	// Leader is the known leader; its ID is 0 while there is none.
+	// Leader is the known leader; its ID is 0 if none is known.
 	Leader raft.Member
 }
 
-// Mover is what the server needs of the mover duty.
+// Mover gives the server access to the component that moves instances between
+// pools; the production implementation is in package mover.
 type Mover interface {
+	// Report passes on the report of an entry process. It does not block; it
+	// returns false if the mover's ring is full.
 	Report(r follow.Report) bool
 	Status(ctx context.Context) mover.Status
 }
 
-// Checker judges a change before it is proposed. It returns why the change is
-// refused, or what is to be stated with its acceptance.
+// Checker checks a change before it is proposed. It returns the reason for which
+// the change is refused, or else a note to store with the accepted change.
 type Checker func(s *fleet.State, c model.Change) (refusal, note string)
 
-// ControlServer serves the control service in a control process.
+// ControlServer implements the Control service in a control process.
 type ControlServer[G Group, M Mover] struct {
-	Self     model.Member
+	Self model.Member
+	// Controls and Entries list the processes in this member's settings.
 	Controls []model.Member
 	Entries  []model.Member
 	Group    G
 	Mover    M
-	Check    Checker
-	Stamps   Stamps
-	Clock    clock.Clock
-	// Record adds an event to the time line.
+	// Check is called for changes other than claims; nil accepts all.
+	Check  Checker
+	Stamps Stamps
+	Clock  clock.Clock
+	// Record adds an event to the event log.
 	Record func(model.Event)
 }
 
-// RequireLeader returns an error that names the leader unless this member leads.
-func (s *ControlServer[G, M]) RequireLeader() error { return s.leader() }
+// RequireLeader returns an error that names the leader unless this member is the
+// leader.
+func (s *ControlServer[G, M]) RequireLeader() error { return s.requireLeader() }
 
-func (s *ControlServer[G, M]) leader() error {
+func (s *ControlServer[G, M]) requireLeader() error {
 	st := s.Group.Status()
 	if st.Role == raft.RoleLeader {
 		return nil
@@ -79,9 +89,10 @@
 	return s.notLeader(string(st.Leader.Name), st.Leader.Address)
 }
 
-// notLeader names the leader at the address that this member's settings give
-// it. The member list holds the addresses that the founder of the group uses,
-// and a path from elsewhere may not lead there.
+// notLeader returns the error that names another member as the leader. It
+// prefers the leader's address in this member's settings: the member list holds
+// the addresses that the founder of the group uses, which may not be reachable
+// from elsewhere.
 func (s *ControlServer[G, M]) notLeader(name, address string) error {
 	for _, m := range s.Controls {
 		if m.Name != "" && string(m.Name) == name {
@@ -91,31 +102,32 @@
 	return notLeader(name, address)
 }
 
-// Propose hands a change to the group and answers with its result.
+// Propose checks a change, proposes it to the group and returns its result.
 func (s *ControlServer[G, M]) Propose(ctx context.Context, r *wirepb.ProposeRequest) (*wirepb.ProposeResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	if err := s.leader(); err != nil {
+	if err := s.requireLeader(); err != nil {
 		return nil, err
 	}
 	c, err := codec.ChangeFromWire(r.GetChange())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("change", err.Error())
 	}
-	refusal, note := s.judge(ctx, c)
+	refusal, note := s.checkChange(ctx, c)
 	if refusal != "" {
-		return s.answer(c, model.Result{Kind: model.ResultInvalid, Reason: refusal}), nil
+		return s.proposeResponse(c, model.Result{Kind: model.ResultInvalid, Reason: refusal}), nil
 	}
 	c.Note = note
 	res, err := s.Group.Propose(ctx, c)
 	if err != nil {
 		return nil, s.proposeError(err)
 	}
-	return s.answer(c, res), nil
+	return s.proposeResponse(c, res), nil
 }
 
-// judge checks a change that was not answered before. Without an answer of
-// the duty nothing is refused: the proposal fails by itself.
-func (s *ControlServer[G, M]) judge(ctx context.Context, c model.Change) (refusal, note string) {
+// checkChange runs Check on a change. It accepts a change whose request ID
+// already has a result, because the group returns that result again. It also
+// accepts if the state cannot be read, because the proposal then fails anyway.
+func (s *ControlServer[G, M]) checkChange(ctx context.Context, c model.Change) (refusal, note string) {
 	if s.Check == nil || c.Kind == model.ChangeClaims || c.Kind == model.ChangeOutcomes {
 		return "", ""
 	}
@@ -131,22 +143,25 @@
 	return refusal, note
 }
 
-// proposeError maps an error of the duty. Only an error before the proposal
-// may say that this member does not lead.
+// proposeError maps an error of Group to a Twirp error. Group may return a
+// notLeaderError only if nothing was proposed, because the caller takes it to
+// mean that nothing was done.
 func (s *ControlServer[G, M]) proposeError(err error) error {
-	var le leaderError
-	if errors.As(err, &le) {
-		return s.notLeader(le.KnownLeader())
+	var e notLeaderError
+	if errors.As(err, &e) {
+		return s.notLeader(e.KnownLeader())
 	}
 	return twirp.NewError(twirp.Unknown, err.Error())
 }
 
-func (s *ControlServer[G, M]) answer(c model.Change, r model.Result) *wirepb.ProposeResponse {
+// proposeResponse records the result of a change and returns the response.
+func (s *ControlServer[G, M]) proposeResponse(c model.Change, r model.Result) *wirepb.ProposeResponse {
 	s.recordChange(c, r)
 	return &wirepb.ProposeResponse{Result: codec.ResultToWire(r), Stamp: codec.StampToWire(s.Stamps.Next())}
 }
 
-// recordChange adds operators' changes to the time line; claims are too many.
+// recordChange adds a change to the event log. Claims and their outcomes are
+// left out, because there are too many of them.
 func (s *ControlServer[G, M]) recordChange(c model.Change, r model.Result) {
 	if c.Kind == model.ChangeClaims || c.Kind == model.ChangeOutcomes {
 		return
@@ -165,12 +180,13 @@
 	s.Record(e)
 }
 
-// Watch answers with the delta after a version, or an empty one after the
-// time asked for.
+// Watch returns the delta after a version. If there is none yet, it waits for
+// one up to the requested time, at most maxWatchWait, and then returns an empty
+// delta.
 func (s *ControlServer[G, M]) Watch(ctx context.Context, r *wirepb.WatchRequest) (*wirepb.WatchResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	// A member that hears no leader may lag by any time; the caller asks another
-	// one or its neighbours.
+	// A member that knows no leader may lag behind by any amount of time; the
+	// caller asks another member or its neighbours instead.
 	if s.Group.Status().Leader.ID == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "no leader is known")
 	}
@@ -189,18 +205,18 @@
 	}, nil
 }
 
-// Report passes a report to the mover of the leader.
+// Report passes a report to the mover if this member is the leader.
 func (s *ControlServer[G, M]) Report(_ context.Context, r *wirepb.ReportRequest) (*wirepb.ReportResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	if err := s.leader(); err != nil {
+	if err := s.requireLeader(); err != nil {
 		return nil, err
 	}
 	rep, err := reportFromWire(r)
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("report", err.Error())
 	}
-	// The term is read first: the answer must not name a later term than the one
-	// that the mover takes the report in.
+	// The term is read first, because the response must not name a later term
+	// than the one in which the mover takes the report.
 	term := s.Group.Status().Term
 	if !s.Mover.Report(rep) {
 		return nil, twirp.NewError(twirp.Unavailable, "the leader is busy")
@@ -208,9 +224,9 @@
 	return &wirepb.ReportResponse{Term: term, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Status answers with the leader's view of the fleet.
+// Status returns the leader's view of the fleet.
 func (s *ControlServer[G, M]) Status(ctx context.Context, _ *wirepb.StatusRequest) (*wirepb.StatusResponse, error) {
-	if err := s.leader(); err != nil {
+	if err := s.requireLeader(); err != nil {
 		return nil, err
 	}
 	if err := s.Group.Read(ctx); err != nil {
@@ -221,7 +237,7 @@
 		Member: string(s.Self.Name), Leader: string(st.Leader.Name), Role: st.Role.String(),
 		Term: st.Term, NowMs: int64(s.Clock.Now()),
 	}
-	if err := s.Group.Query(ctx, func(f *fleet.State) { fillObjects(w, f) }); err != nil {
+	if err := s.Group.Query(ctx, func(f *fleet.State) { fillFleet(w, f) }); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	fillMover(w, s.Mover.Status(ctx))
@@ -234,7 +250,7 @@
 	return w, nil
 }
 
-func fillObjects(w *wirepb.StatusResponse, f *fleet.State) {
+func fillFleet(w *wirepb.StatusResponse, f *fleet.State) {
 	w.Commit = uint64(f.Index)
 	w.Version = uint64(f.Version)
 	for _, c := range f.Contracts {
--- a/io/trans/peers/doc.go
+++ b/io/trans/peers/doc.go
@@ -1,5 +1,5 @@
-// Package peers holds the twirp servers and clients between the system's own
-// processes and for operators, and the HTTP handler for announcements. It
-// maps errors and messages only; every decision is made by the duties behind
-// it.
+// Package peers holds the Twirp servers and clients that the control processes,
+// entry processes and operators' commands use to talk to each other, and the
+// HTTP handler for announcements. It converts messages and maps errors; the
+// components behind its interfaces make all decisions.
 package peers
--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -9,37 +9,40 @@
 	"camphorridge/core/state/model"
 )
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindUnreachable means that nobody answered in time; a change may have
+	// KindUnreachable: no process served the request in time, the called one
+	// was unavailable, or its response could not be decoded. A change may have
 	// been accepted.
 	KindUnreachable Kind = iota
-	// KindNotLeader means that the member asked does not lead; nothing was
-	// done.
+	// KindNotLeader: the called member is not the leader; nothing was done.
 	KindNotLeader
-	// KindInvalid means that the answer or the request is malformed.
+	// KindInvalid: the request is malformed; nothing was done.
 	KindInvalid
-	// KindUnknown means that the change may or may not have been accepted.
+	// KindUnknown: any other failure, such as a timeout or a connection error.
+	// The request may or may not have been executed.
 	KindUnknown
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
 	Err  error
 }
 
+// Error returns the operation and the cause.
 func (e *Error) Error() string { return fmt.Sprintf("peers: %s: %v", e.Op, e.Err) }
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// The twirp metadata that name the leader. A caller that has the leader in
-// its settings goes by the name, as addresses may differ from place to place.
+// The keys of the Twirp error metadata that name the leader. A caller that has a
+// member of that name in its settings uses the address there, because the
+// address that reaches the leader may differ between callers.
 const (
 	leaderNameMeta    = "leader-name"
 	leaderAddressMeta = "leader-address"
@@ -50,8 +53,8 @@
 		WithMeta(leaderNameMeta, name).WithMeta(leaderAddressMeta, address)
 }
 
-// fromTwirp maps an error of a twirp call; leader is what a member that does
-// not lead said of the leader.
+// fromTwirp maps the error of a Twirp call. For KindNotLeader, leader is the
+// leader that the called member named; it is empty if that member knows none.
 func fromTwirp(op string, err error) (mapped *Error, leader model.Member) {
 	var te twirp.Error
 	if !errors.As(err, &te) {
@@ -70,9 +73,10 @@
 	}
 }
 
-// leaderError is an error that says that this member does not lead.
-type leaderError interface {
+// notLeaderError is implemented by errors of Group that mean that this member is
+// not the leader.
+type notLeaderError interface {
 	error
-	// KnownLeader names the member that leads; empty when unknown.
+	// KnownLeader returns the leader's name and address; empty if unknown.
 	KnownLeader() (name, address string)
 }
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -12,43 +12,49 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Timing of calls to the leader.
+// The timing of calls to the leader.
 const (
-	// attemptTimeout bounds one try, so that a frozen member does not use up
-	// the time of the whole call.
+	// attemptTimeout bounds one attempt, so that an unresponsive member does
+	// not use up the time of the whole call.
 	attemptTimeout = 1500 * clock.Millis(1)
-	// roundWait separates two rounds over all members, as an election takes
-	// about a second.
-	roundWait clock.Millis = 100
-	// silentWait is how long a member that gave no answer is asked last.
-	silentWait = 2 * clock.Second
+	// roundDelay is the time between two rounds of attempts. Without it, the
+	// rounds would be too frequent during an election, which takes about a
+	// second.
+	roundDelay clock.Millis = 100
+	// avoidDuration is the time for which a member that did not respond is
+	// tried only after all others.
+	avoidDuration = 2 * clock.Second
 )
 
-// LeaderClient finds the leader of the control group and calls it.
+// LeaderClient finds the leader of the control group and calls it. It is safe
+// for concurrent use.
 type LeaderClient struct {
 	client *Client
 	clock  clock.Clock
 	mu     sync.Mutex
-	// members are asked in turn; at least one.
+	// members are tried in rotation; at least one.
 	members []model.Member
-	// last is the address that answered as the leader; empty when unknown.
-	last string
-	// turn counts the members asked in rotation; it only grows.
-	turn int
-	// silent holds the time before which an address that gave no answer is
-	// asked after all others only.
-	silent map[string]clock.Millis
+	// leaderAddress is the address that last responded as the leader; empty if
+	// unknown.
+	leaderAddress string
+	// nextMemberIndex, modulo the number of members, is the index of the next
+	// member in rotation. It never decreases.
+	nextMemberIndex int
+	// avoidUntil holds, for each address that did not respond, the time until
+	// which it is tried only after all others.
+	avoidUntil map[string]clock.Millis
 }
 
-// NewLeaderClient returns a caller of the leader among the members.
+// NewLeaderClient returns a client that looks for the leader among members, of
+// which there must be at least one.
 func NewLeaderClient(c *Client, members []model.Member, clk clock.Clock) *LeaderClient {
-	return &LeaderClient{members: members, client: c, clock: clk, silent: map[string]clock.Millis{}}
+	return &LeaderClient{members: members, client: c, clock: clk, avoidUntil: map[string]clock.Millis{}}
 }
 
-// Propose hands in a change and waits for its result. The change is handed in
-// again after a lost answer, so it must carry a request identity or be
-// idempotent by itself. An error of KindUnknown or KindUnreachable means that
-// the change may have been accepted.
+// Propose proposes a change and waits for its result. It proposes the change
+// again if the response is lost, so the change must carry a request ID or be
+// idempotent. After an *Error of KindUnknown or KindUnreachable the change may
+// have been accepted.
 func (l *LeaderClient) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	var r model.Result
 	err := l.call(ctx, "propose", func(ctx context.Context, to remote) error {
@@ -63,7 +69,7 @@
 	return r, err
 }
 
-// Report sends a report and returns the leader's term.
+// Report sends a report to the leader and returns the leader's term.
 func (l *LeaderClient) Report(ctx context.Context, r follow.Report) (uint64, error) {
 	var term uint64
 	err := l.call(ctx, "report", func(ctx context.Context, to remote) error {
@@ -80,49 +86,55 @@
 	return term, err
 }
 
-// call tries the last known leader, then all members, until one takes the
-// call or ctx ends. It follows the address that a member names as the leader.
-// A followed address takes no member's turn: the address may be wrong, and the
-// member whose turn it is may be the leader.
+// call runs f with the clients of the last known leader, then with those of the
+// members in rotation, until f succeeds or ctx ends. If a member names another
+// address as the leader's, call tries that address next. Doing so does not use
+// up a member's turn in the rotation: the address may be wrong, and the member
+// whose turn it is may be the leader.
 func (l *LeaderClient) call(ctx context.Context, op string, f func(context.Context, remote) error) error {
-	return l.search(ctx, op, attemptTimeout, f)
+	return l.callWithTimeout(ctx, op, attemptTimeout, f)
 }
 
-// search is call with a bound of its own on each try.
-func (l *LeaderClient) search(ctx context.Context, op string, bound clock.Millis, f func(context.Context, remote) error) error {
-	next := l.known()
-	var last error
-	for n := 1; ; n++ {
+// callWithTimeout is call with the given timeout for each attempt. Its error is
+// an *Error of KindInvalid if an attempt was rejected as malformed, and of
+// KindUnknown if ctx ended.
+func (l *LeaderClient) callWithTimeout(ctx context.Context, op string, timeout clock.Millis, f func(context.Context, remote) error) error {
+	next := l.knownLeader()
+	var lastErr error
+	for attempts := 1; ; attempts++ {
 		if next == "" {
-			next = l.rotate()
+			next = l.nextMember()
 		}
-		mapped, leader := l.attempt(ctx, op, next, bound, f)
+		mapped, leader := l.attempt(ctx, op, next, timeout, f)
 		if mapped == nil {
-			l.remember(next)
+			l.setKnownLeader(next)
 			return nil
 		}
-		last = mapped
+		lastErr = mapped
 		if mapped.Kind == KindInvalid {
 			return mapped
 		}
 		asked := next
-		next = l.follow(leader, asked)
-		if next == "" && l.known() == asked {
-			l.remember("")
+		next = l.redirectAddress(leader, asked)
+		if next == "" && l.knownLeader() == asked {
+			l.setKnownLeader("")
 		}
-		// Waiting also bounds the rate at which two members that name each other
-		// as the leader are asked.
-		if n%len(l.list()) == 0 {
-			l.wait(ctx)
+		// The delay also limits the rate of attempts at two members that name
+		// each other as the leader.
+		if attempts%len(l.currentMembers()) == 0 {
+			l.waitRound(ctx)
 		}
 		if ctx.Err() != nil {
-			return &Error{Op: op, Kind: KindUnknown, Err: fmt.Errorf("%w; last: %w", ctx.Err(), last)}
+			return &Error{Op: op, Kind: KindUnknown, Err: fmt.Errorf("%w; last attempt: %w", ctx.Err(), lastErr)}
 		}
 	}
 }
 
-func (l *LeaderClient) attempt(ctx context.Context, op, address string, bound clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
-	ctx, cancel := context.WithTimeout(ctx, bound.Duration())
+// attempt runs f once with the clients for an address. If the error is of
+// KindNotLeader, the member returned is the leader that the other process named.
+// An address that did not respond or was unavailable is avoided for a while.
+func (l *LeaderClient) attempt(ctx context.Context, op, address string, timeout clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	err := f(ctx, l.client.remote(address))
 	if err == nil {
@@ -136,53 +148,55 @@
 	return mapped, leader
 }
 
-// rotate returns the address of the member whose turn it is. Members that
-// lately gave no answer are passed over while there are others, so that a
-// frozen member does not use up the time of call after call.
-func (l *LeaderClient) rotate() string {
+// nextMember returns the address of the next member in rotation. It skips
+// avoided members as long as there are others, so that an unresponsive member
+// does not use up the time of one call after another.
+func (l *LeaderClient) nextMember() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	for range l.members {
-		m := l.members[l.turn%len(l.members)]
-		l.turn++
-		if l.silent[m.Address] <= now {
+		m := l.members[l.nextMemberIndex%len(l.members)]
+		l.nextMemberIndex++
+		if l.avoidUntil[m.Address] <= now {
 			return m.Address
 		}
 	}
-	m := l.members[l.turn%len(l.members)]
-	l.turn++
+	m := l.members[l.nextMemberIndex%len(l.members)]
+	l.nextMemberIndex++
 	return m.Address
 }
 
-// SetMembers replaces the members that are asked.
+// SetMembers replaces the members that are tried; there must be at least one.
 func (l *LeaderClient) SetMembers(all []model.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.members = all
 }
 
-func (l *LeaderClient) list() []model.Member {
+func (l *LeaderClient) currentMembers() []model.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.members
 }
 
-// avoid notes that an address gave no answer.
+// avoid makes nextMember skip an address that did not respond, for
+// avoidDuration.
 func (l *LeaderClient) avoid(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent[address] = l.clock.Now() + silentWait
-	if l.last == address {
-		l.last = ""
+	l.avoidUntil[address] = l.clock.Now() + avoidDuration
+	if l.leaderAddress == address {
+		l.leaderAddress = ""
 	}
 }
 
-// follow returns the address of the leader that a member named, or "" when it
-// named none or the one that was just asked.
-func (l *LeaderClient) follow(leader model.Member, asked string) string {
+// redirectAddress returns the address of the leader that a member named, or ""
+// if it named none or named asked, the address that was just tried. For a member
+// that is in the list, the list's address is used.
+func (l *LeaderClient) redirectAddress(leader model.Member, asked string) string {
 	address := leader.Address
-	for _, m := range l.list() {
+	for _, m := range l.currentMembers() {
 		if m.Name != "" && m.Name == leader.Name {
 			address = m.Address
 		}
@@ -193,21 +207,21 @@
 	return address
 }
 
-func (l *LeaderClient) wait(ctx context.Context) {
+func (l *LeaderClient) waitRound(ctx context.Context) {
 	select {
-	case <-l.clock.After(roundWait):
+	case <-l.clock.After(roundDelay):
 	case <-ctx.Done():
 	}
 }
 
-func (l *LeaderClient) known() string {
+func (l *LeaderClient) knownLeader() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.last
+	return l.leaderAddress
 }
 
-func (l *LeaderClient) remember(address string) {
+func (l *LeaderClient) setKnownLeader(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.last = address
+	l.leaderAddress = address
 }
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -16,21 +16,22 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// member answers status calls: it leads, or it names the leader at an address.
-type member struct {
+// fakeMember is a control process that answers Status calls. If leads is false,
+// it names a leader at leaderAddress.
+type fakeMember struct {
 	wirepb.Control
 	leads         bool
 	leaderAddress string
 }
 
-func (m member) Status(context.Context, *wirepb.StatusRequest) (*wirepb.StatusResponse, error) {
+func (m fakeMember) Status(context.Context, *wirepb.StatusRequest) (*wirepb.StatusResponse, error) {
 	if !m.leads {
 		return nil, notLeader("c3", m.leaderAddress)
 	}
 	return &wirepb.StatusResponse{Member: "c3", Leader: "c3", Role: "leader"}, nil
 }
 
-func serveMember(t *testing.T, m member) string {
+func serveMember(t *testing.T, m fakeMember) string {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(wirepb.ControlPathPrefix, wirepb.NewControlServer(m))
@@ -39,7 +40,7 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// closedAddress is an address at which nobody listens.
+// closedAddress returns an address at which no process listens.
 func closedAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -48,23 +49,23 @@
 	return l.Addr().String()
 }
 
-type noStamps struct{}
+type zeroStamps struct{}
 
-func (noStamps) Next() model.Stamp   { return model.Stamp{} }
-func (noStamps) Observe(model.Stamp) {}
+func (zeroStamps) Next() model.Stamp   { return model.Stamp{} }
+func (zeroStamps) Observe(model.Stamp) {}
 
-// TestLeaderBehindWrongAddress guards against a caller that never asks the
-// leader although it knows its address: one member knows no leader, the next
-// one names the leader at an address that the caller cannot reach, and each
-// try of that address used to take the leader's turn in the rotation.
+// TestLeaderBehindWrongAddress guards against a client that never tries the
+// leader although it knows its address. One member knows no leader, and another
+// names the leader at an address that the client cannot reach; the attempts at
+// that address must not use up the leader's turn in the rotation.
 func TestLeaderBehindWrongAddress(t *testing.T) {
 	wrong := closedAddress(t)
 	members := []model.Member{
-		{Address: serveMember(t, member{})},
-		{Address: serveMember(t, member{leaderAddress: wrong})},
-		{Address: serveMember(t, member{leads: true})},
+		{Address: serveMember(t, fakeMember{})},
+		{Address: serveMember(t, fakeMember{leaderAddress: wrong})},
+		{Address: serveMember(t, fakeMember{leads: true})},
 	}
-	l := NewLeaderClient(NewClient("test", noStamps{}), members, clock.Real())
+	l := NewLeaderClient(NewClient("test", zeroStamps{}), members, clock.Real())
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	o, err := l.Status(ctx)
@@ -72,14 +73,14 @@
 	assert.Equal(t, o.Status.Member, model.Process("c3"))
 }
 
-// TestLeaderAfterSilentMember guards against calls that each spend their whole
-// time on a frozen member that comes first in the rotation.
+// TestLeaderAfterSilentMember guards against calls that all use up their timeout
+// on an unresponsive member that comes first in the rotation.
 func TestLeaderAfterSilentMember(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	members := []model.Member{{Address: l.Addr().String()}, {Address: serveMember(t, member{leads: true})}}
-	caller := NewLeaderClient(NewClient("test", noStamps{}), members, clock.Real())
+	members := []model.Member{{Address: l.Addr().String()}, {Address: serveMember(t, fakeMember{leads: true})}}
+	caller := NewLeaderClient(NewClient("test", zeroStamps{}), members, clock.Real())
 	for n := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_, err = caller.Status(ctx)
@@ -91,18 +92,20 @@
 }
 
 // TestLeaderNamedByOwnAddress guards against a member that names the leader at
-// the address that the founder of the group used, which callers of another
-// availability zone may not reach: its own settings go first.
+// the address that the founder of the group uses, which callers in another
+// availability zone may not be able to reach. The address in the member's own
+// settings takes precedence.
 func TestLeaderNamedByOwnAddress(t *testing.T) {
 	s := &ControlServer[fakeGroup, Mover]{
 		Controls: []model.Member{{Name: "c3", Address: "127.0.0.3:7000"}},
 		Group:    fakeGroup{},
 	}
-	_, leader := fromTwirp("status", s.leader())
+	_, leader := fromTwirp("status", s.requireLeader())
 	assert.Equal(t, leader.Address, "127.0.0.3:7000")
 }
 
-// fakeGroup follows a leader whose address in the member list is another one.
+// fakeGroup is a group whose member list has another address for the leader than
+// the settings.
 type fakeGroup struct{ Group }
 
 func (fakeGroup) Status() GroupStatus {
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -11,28 +11,32 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// NeighbourServer serves an entry process's table and takes announcements
-// from the other entry processes of the zone.
+// NeighbourServer implements the Neighbour service in an entry process: it serves
+// the process's table, receives announcements from the other entry processes of
+// the availability zone, and lends slots to entry processes.
 type NeighbourServer struct {
 	// TableAfter returns the delta after a version; ready is false while the
 	// process has no confirmed table.
 	TableAfter func(from model.Version) (d model.Delta, ready bool)
-	// HandleAnnouncement takes one announcement. Its refusal is not passed back,
-	// because the upstream gets it from the process that it announced itself to.
+	// HandleAnnouncement handles one forwarded announcement. A refusal is not
+	// returned, because the upstream gets it from the process to which it
+	// announced itself.
 	HandleAnnouncement func(a model.Announcement)
-	// Lender grants and takes back loans of slots.
-	Lender Lender
-	Stamps Stamps
+	Lender             Lender
+	Stamps             Stamps
 }
 
-// Lender is the part of an entry process that holds the ledger of loans.
+// Lender is the part of an entry process that lends slots and keeps track of the
+// loans.
 type Lender interface {
 	Lend(a lend.LoanRequest) lend.LoanResponse
 	HandleReturn(r lend.Return)
+	// HandleRecall ends the loans that earlier runs of the lender granted to this
+	// process. clear is true once all of them have ended.
 	HandleRecall(r lend.Recall) (clear bool)
 }
 
-// Table answers with the process's table.
+// Table returns the delta after a version of the process's table.
 func (s *NeighbourServer) Table(_ context.Context, r *wirepb.TableRequest) (*wirepb.WatchResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	d, ready := s.TableAfter(model.Version(r.GetVersion()))
@@ -41,7 +45,8 @@
 	}, nil
 }
 
-// Announce takes a batch of announcements; a malformed one refuses the batch.
+// Announce handles a batch of announcements. One malformed announcement rejects
+// the whole batch.
 func (s *NeighbourServer) Announce(_ context.Context, r *wirepb.AnnounceRequest) (*wirepb.AnnounceResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	all := make([]model.Announcement, 0, len(r.GetAnnouncements()))
@@ -58,7 +63,7 @@
 	return &wirepb.AnnounceResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Lend answers an ask for loans.
+// Lend handles a request for loans.
 func (s *NeighbourServer) Lend(_ context.Context, r *wirepb.LendRequest) (*wirepb.LendResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	a, err := codec.LoanRequestFromWire(r)
@@ -70,14 +75,14 @@
 	return w, nil
 }
 
-// Return takes loans back.
+// Return handles the return of loans.
 func (s *NeighbourServer) Return(_ context.Context, r *wirepb.ReturnRequest) (*wirepb.ReturnResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	s.Lender.HandleReturn(codec.ReturnFromWire(r))
 	return &wirepb.ReturnResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Recall ends the loans of an earlier run of a lender.
+// Recall ends the loans that earlier runs of a lender granted to this process.
 func (s *NeighbourServer) Recall(_ context.Context, r *wirepb.RecallRequest) (*wirepb.RecallResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	clear := s.Lender.HandleRecall(codec.RecallFromWire(r))
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -10,16 +10,17 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Overview is the leader's view of the system.
+// Overview is the leader's view of the system, for operators' commands.
 type Overview struct {
 	Status report.Status
 	// Controls and Entries list the configured processes.
 	Controls []model.Member
 	Entries  []model.Member
-	Waits    []WaitOverview
+	// Waits lists the steps of instances that wait for confirmations.
+	Waits []WaitOverview
 }
 
-// WaitOverview says for whom the step of an instance waits.
+// WaitOverview describes a step of an instance that has to wait; see mover.Wait.
 type WaitOverview struct {
 	Instance    model.InstanceID
 	Unconfirmed []string
@@ -27,7 +28,7 @@
 	Reason      string
 }
 
-// Status asks the leader for its view.
+// Status requests the leader's view of the system.
 func (l *LeaderClient) Status(ctx context.Context) (Overview, error) {
 	var o Overview
 	err := l.call(ctx, "status", func(ctx context.Context, to remote) error {
@@ -49,13 +50,13 @@
 	}}
 	st := &o.Status
 	var err error
-	if st.Contracts, err = each(w.GetContracts(), codec.ContractFromWire); err != nil {
+	if st.Contracts, err = convertAll(w.GetContracts(), codec.ContractFromWire); err != nil {
 		return o, err
 	}
-	if st.Instances, err = each(w.GetInstances(), codec.InstanceFromWire); err != nil {
+	if st.Instances, err = convertAll(w.GetInstances(), codec.InstanceFromWire); err != nil {
 		return o, err
 	}
-	if st.Maintenance, err = each(w.GetMaintenance(), codec.MaintenanceFromWire); err != nil {
+	if st.Maintenance, err = convertAll(w.GetMaintenance(), codec.MaintenanceFromWire); err != nil {
 		return o, err
 	}
 	for _, p := range w.GetProcesses() {
@@ -81,7 +82,8 @@
 	return o, nil
 }
 
-func each[A, B any](in []A, f func(A) (B, error)) ([]B, error) {
+// convertAll applies f to all elements and stops at the first error.
+func convertAll[A, B any](in []A, f func(A) (B, error)) ([]B, error) {
 	out := make([]B, 0, len(in))
 	for _, a := range in {
 		b, err := f(a)
@@ -93,12 +95,13 @@
 	return out, nil
 }
 
-// Events asks a process for its time line.
+// Events requests the event log of the process at address. dropped is the number
+// of events that the process has dropped from it.
 func (c *Client) Events(ctx context.Context, address string) (events []model.Event, dropped int64, err error) {
 	resp, err := c.remote(address).timeline.Events(ctx, &wirepb.EventsRequest{})
 	if err != nil {
-		return nil, 0, c.failed("events of "+address, err)
+		return nil, 0, c.callError("events of "+address, err)
 	}
-	events, err = each(resp.GetEvents(), codec.EventFromWire)
+	events, err = convertAll(resp.GetEvents(), codec.EventFromWire)
 	return events, resp.GetDropped(), err
 }
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -10,23 +10,26 @@
 	"camphorridge/core/state/ring"
 )
 
-// Bounds of the consensus messages to one member.
+// The limits for Raft messages to one member.
 const (
-	senderRing                   = 1024
+	// senderRingMessages is the capacity of a member's ring, in messages.
+	senderRingMessages = 1024
+	// maxStepMessages is the maximum number of messages in one Step request,
+	// and stepTimeout bounds that request.
 	maxStepMessages              = 64
 	stepTimeout     clock.Millis = 1000
 )
 
-// Senders sends consensus messages, with one goroutine and one ring for each
-// member, so that a silent member holds up no other. A full ring drops the
-// message, which consensus allows for.
+// Senders sends Raft messages, with one goroutine and one ring for each member,
+// so that an unresponsive member does not delay the messages to the others. If a
+// ring is full, the message is dropped; Raft tolerates lost messages.
 type Senders struct {
 	client *Client
-	// configured holds the addresses from the settings by name; they go before
-	// those in the member list.
+	// configured holds the addresses in the settings by process name; they take
+	// precedence over those in the member list.
 	configured map[model.Process]string
 	mu         sync.Mutex
-	// rings holds one ring for each member by identity.
+	// rings holds the ring of each member that was sent a message.
 	rings map[raft.MemberID]*ring.Ring[raft.Message]
 	// addresses is the current address of each member.
 	addresses map[raft.MemberID]string
@@ -34,7 +37,8 @@
 	wg        sync.WaitGroup
 }
 
-// NewSenders returns senders that know the addresses in the settings.
+// NewSenders returns a Senders without members; configured lists the control
+// processes in the settings.
 func NewSenders(c *Client, configured []model.Member) *Senders {
 	byName := make(map[model.Process]string, len(configured))
 	for _, m := range configured {
@@ -49,7 +53,7 @@
 	}
 }
 
-// SetMembers sets the addresses of the members.
+// SetMembers adds members or updates their addresses.
 func (s *Senders) SetMembers(all []raft.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,7 +65,8 @@
 	}
 }
 
-// Send passes messages to their members' goroutines. It does not wait.
+// Send passes messages to the goroutines of their recipients. It does not block.
+// Messages to unknown members are dropped.
 func (s *Senders) Send(all []raft.Message) {
 	for _, m := range all {
 		if r := s.ring(m.To); r != nil {
@@ -78,7 +83,7 @@
 	}
 	r, ok := s.rings[id]
 	if !ok {
-		r = ring.New[raft.Message](senderRing)
+		r = ring.New[raft.Message](senderRingMessages)
 		s.rings[id] = r
 		s.wg.Add(1)
 		go s.run(id, r)
@@ -91,14 +96,14 @@
 	for {
 		select {
 		case m := <-r.C():
-			s.post(id, r.Drain([]raft.Message{m}, maxStepMessages))
+			s.sendBatch(id, r.Drain([]raft.Message{m}, maxStepMessages))
 		case <-s.done:
 			return
 		}
 	}
 }
 
-func (s *Senders) post(id raft.MemberID, batch []raft.Message) {
+func (s *Senders) sendBatch(id raft.MemberID, batch []raft.Message) {
 	s.mu.Lock()
 	address := s.addresses[id]
 	s.mu.Unlock()
@@ -107,7 +112,7 @@
 	_ = s.client.step(ctx, address, batch)
 }
 
-// Dropped is the number of messages that found a full ring.
+// Dropped returns the number of messages dropped because a ring was full.
 func (s *Senders) Dropped() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,7 +123,7 @@
 	return n
 }
 
-// Stop ends the goroutines.
+// Stop ends the goroutines and waits for them. It must be called only once.
 func (s *Senders) Stop() {
 	close(s.done)
 	s.wg.Wait()
--- a/io/trans/peers/traffic.go
+++ b/io/trans/peers/traffic.go
@@ -13,16 +13,17 @@
 	received atomic.Int64
 }
 
-// Sent is the number of bytes written since the start.
+// Sent returns the number of bytes written since the process started.
 func (t *Traffic) Sent() int64 { return t.sent.Load() }
 
-// Received is the number of bytes read since the start.
+// Received returns the number of bytes read since the process started.
 func (t *Traffic) Received() int64 { return t.received.Load() }
 
-// Listener counts the bytes of the connections that l accepts.
+// Listener returns a listener that counts the bytes of the connections that l
+// accepts.
 func (t *Traffic) Listener(l net.Listener) net.Listener { return &countedListener{Listener: l, t: t} }
 
-// dial returns a dial function whose connections are counted.
+// dial returns a dial function that counts the bytes of its connections.
 func (t *Traffic) dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -13,20 +13,23 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Runner is what the server needs of the runner duty.
+// Runner executes calls of submitters; the production implementation is
+// runner.Runner.
 type Runner interface {
 	Call(ctx context.Context, c runner.Call) runner.Answer
 }
 
-// WorkServer serves calls of submitters in a control process.
+// WorkServer implements the Work service, which submitters call, in a control
+// process.
 type WorkServer[W Runner] struct {
 	Runner W
 	Stamps Stamps
-	// RequireLeader returns an error that names the leader unless this member leads.
+	// RequireLeader returns an error that names the leader unless this member is
+	// the leader.
 	RequireLeader func() error
 }
 
-// Handle passes a call to the runner.
+// Handle passes a call to the runner if this member is the leader.
 func (s WorkServer[W]) Handle(ctx context.Context, r *wirepb.WorkCall) (*wirepb.WorkAnswer, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	if err := s.RequireLeader(); err != nil {
@@ -41,21 +44,23 @@
 	return w, nil
 }
 
-// workTimeout bounds one try of a call. Such a call is idempotent and usually
-// takes one commit, so that a frozen leader is better left early.
+// workTimeout bounds one attempt of CallRunner. It is shorter than
+// attemptTimeout, so that an unresponsive leader is given up early: a call
+// usually takes one commit, and it is idempotent.
 const workTimeout clock.Millis = 600
 
-// CallRunner hands a call to the leader. An error of KindUnknown means that the call
-// may have been carried out; after one of another kind it was not.
+// CallRunner sends a call to the leader's runner. After an *Error of KindUnknown
+// the call may have been executed; after one of another kind, such as
+// KindUnreachable if no attempt reached a leader, it was not.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
-	reached := false
+	mayHaveRun := false
 	req := codec.CallToWire(c)
 	req.Stamp = l.client.stamp()
-	err := l.search(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
+	err := l.callWithTimeout(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
 		resp, err := to.work.Handle(ctx, req)
 		if err != nil {
-			reached = reached || attemptMayHaveRun(err)
+			mayHaveRun = mayHaveRun || attemptMayHaveRun(err)
 			return err
 		}
 		l.client.observe(resp.GetStamp())
@@ -63,15 +68,15 @@
 		return err
 	})
 	var e *Error
-	if errors.As(err, &e) && e.Kind == KindUnknown && !reached {
+	if errors.As(err, &e) && e.Kind == KindUnknown && !mayHaveRun {
 		e.Kind = KindUnreachable
 	}
 	return a, err
 }
 
-// attemptMayHaveRun reports whether a failed call may have been carried out: not when
-// no connection was made, and not when the member answered that it does not
-// lead.
+// attemptMayHaveRun reports whether the call of a failed attempt may have been
+// executed. It was not if no connection could be opened, or if the member
+// responded that it is not the leader or that the call is malformed.
 func attemptMayHaveRun(err error) bool {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -81,7 +86,8 @@
 	return mapped.Kind != KindNotLeader && mapped.Kind != KindInvalid
 }
 
-// MayHaveRun reports whether a failed call may have been carried out.
+// MayHaveRun reports whether a call may have been executed although CallRunner
+// returned the error err.
 func MayHaveRun(err error) bool {
 	var e *Error
 	return !errors.As(err, &e) || e.Kind == KindUnknown
--- a/io/trans/uplink/client.go
+++ b/io/trans/uplink/client.go
@@ -224,7 +224,7 @@
 	}
 }
 
-// Open returns the number of open connections to an upstream.
+// OpenConnections returns the number of open connections to an upstream.
 func (cl *Client) OpenConnections(name string) int {
 	cl.mu.RLock()
 	p := cl.pools[name]
