--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -24,7 +24,9 @@
 	rest  io.Reader
 	// restLimit is the number of bytes of rest that may be read.
 	restLimit int64
-	size      int64
+	// size is the size of the body in bytes; -1 if it is streamed and none was
+	// declared.
+	size int64
 }
 
 // readPayload reads the body up to the size of buf. A caller that sends too
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -25,7 +25,7 @@
 	idPrefix                   string
 	idSequence                 atomic.Uint64
 	smallBuffers, largeBuffers sync.Pool
-	counts                     struct{ ran, notRun, replyUnknown, replyDuplicate, aborted, retries atomic.Int64 }
+	counts                     struct{ ran, notRun, unknown, duplicate, aborted, retries atomic.Int64 }
 }
 
 // New returns a handler that sends requests through client, under grants of
@@ -68,8 +68,8 @@
 func (f *Handler[D, C]) Counts() Counts {
 	c := &f.counts
 	return Counts{
-		Ran: c.ran.Load(), NotRun: c.notRun.Load(), Unknown: c.replyUnknown.Load(),
-		Duplicate: c.replyDuplicate.Load(), Aborted: c.aborted.Load(), Retries: c.retries.Load(),
+		Ran: c.ran.Load(), NotRun: c.notRun.Load(), Unknown: c.unknown.Load(),
+		Duplicate: c.duplicate.Load(), Aborted: c.aborted.Load(), Retries: c.retries.Load(),
 	}
 }
 
@@ -80,7 +80,8 @@
 	r      *http.Request
 	ctx    context.Context
 	parsed parsedRequest
-	id     string
+	// id is the request ID.
+	id string
 	// deadline is the time at which the caller stops waiting.
 	deadline clock.Millis
 	body     payload
--- a/io/trans/front/front_test.go
+++ b/io/trans/front/front_test.go
@@ -42,7 +42,8 @@
 	_, _ = io.WriteString(w, r.Method+" "+r.URL.Path+" "+string(b))
 }
 
-// Guards against requests or responses that are altered by the front end.
+// TestRequestAndResponsePassThrough guards against requests or responses that
+// are altered by the front end.
 func TestRequestAndResponsePassThrough(t *testing.T) {
 	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 10)}, upstream(t, echo))
 	for range 3 {
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -23,8 +23,9 @@
 
 const largeBodyBytes = 300 << 10
 
-// Guards against outcomes that do not match what happened at the upstream, and
-// against wrong records of idempotency keys. The upstream counts the arrivals.
+// TestOutcomes guards against outcomes that do not match what happened at the
+// upstream, and against wrong records of idempotency keys. The upstream counts
+// the arrivals.
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -103,8 +104,8 @@
 	return s
 }
 
-// Guards against sending invalid requests to an upstream, and against refusals
-// without an outcome.
+// TestRefusedRequests guards against sending invalid requests to an upstream,
+// and against refusals without an outcome.
 func TestRefusedRequests(t *testing.T) {
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -149,8 +150,8 @@
 	assert.Equal(t, u.count("m"), 0)
 }
 
-// Guards against request smuggling: conflicting lengths can hide one request in
-// the body of another.
+// TestConflictingLengthsAreRefused guards against request smuggling:
+// conflicting lengths can hide one request in the body of another.
 func TestConflictingLengthsAreRefused(t *testing.T) {
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -181,8 +182,8 @@
 	assert.Equal(t, u.count("m"), 0)
 }
 
-// Guards against a truncated response larger than the buffer that looks complete
-// to the caller.
+// TestLargeTruncatedResponseAborts guards against a truncated response larger
+// than the buffer that looks complete to the caller.
 func TestLargeTruncatedResponseAborts(t *testing.T) {
 	body := strings.Repeat("x", largeBodyBytes)
 	u := newScriptedUpstream(t, func(c net.Conn, r *http.Request) {
@@ -211,7 +212,8 @@
 	})
 }
 
-// Guards against running a request with an idempotency key twice.
+// TestDuplicates guards against running a request with an idempotency key
+// twice.
 func TestDuplicates(t *testing.T) {
 	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
 	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
@@ -230,8 +232,9 @@
 	assert.Equal(t, cut.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
 
-// Guards against missing retries of requests that did not run, against retries
-// beyond the retry budget, and against retries with an altered body.
+// TestRetryAfterProvenNotRun guards against missing retries of requests that
+// did not run, against retries beyond the retry budget, and against retries
+// with an altered body.
 func TestRetryAfterProvenNotRun(t *testing.T) {
 	busy := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
@@ -255,8 +258,9 @@
 	assert.Equal(t, g.handler.Counts().Retries >= s.Counts.Retries, true)
 }
 
-// Guards against a slot that stays taken after the caller disconnected, and
-// against counting the disconnect as a failure of the upstream.
+// TestDisconnectedCallerFreesSlot guards against a slot that stays taken after
+// the caller disconnected, and against counting the disconnect as a failure of
+// the upstream.
 func TestDisconnectedCallerFreesSlot(t *testing.T) {
 	got, hang := make(chan struct{}, 1), make(chan struct{})
 	defer close(hang)
@@ -276,7 +280,8 @@
 	assert.Equal(t, s.Upstreams[0].Score, 0.0)
 }
 
-// Guards against callers that hold a slot or a goroutine by sending slowly.
+// TestSlowBodyIsCutOff guards against callers that hold a slot or a goroutine
+// by sending slowly.
 func TestSlowBodyIsCutOff(t *testing.T) {
 	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
 	g.handler.cfg.BodyReadTimeout = 50
@@ -291,8 +296,8 @@
 	assert.Equal(t, g.dispatcher.Snapshot().Counts.Requests, int64(0))
 }
 
-// Guards against a shutdown that aborts requests in flight before its timeout,
-// and against one that waits forever.
+// TestShutdownFinishesRequests guards against a shutdown that aborts requests
+// in flight before its timeout, and against one that waits forever.
 func TestShutdownFinishesRequests(t *testing.T) {
 	release, got := make(chan struct{}), make(chan struct{}, 2)
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/io/trans/front/overload_test.go
+++ b/io/trans/front/overload_test.go
@@ -13,9 +13,10 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against the outcome not-run for a request that reached an upstream, and
-// against a request that reached one twice, under overload and with deadlines
-// that expire in every phase of a request.
+// TestOutcomesMatchArrivalsUnderOverload guards against the outcome not-run for
+// a request that reached an upstream, and against a request that reached one
+// twice, under overload and with deadlines that expire in every phase of a
+// request.
 func TestOutcomesMatchArrivalsUnderOverload(t *testing.T) {
 	var mu sync.Mutex
 	arrived := map[string]int{}
--- a/io/trans/front/reply.go
+++ b/io/trans/front/reply.go
@@ -64,7 +64,7 @@
 // replyUnknown answers a request of which bytes may have been written but for
 // which no complete, valid response was received.
 func (f *Handler[D, C]) replyUnknown(x *exchange, k uplink.Kind) {
-	f.counts.replyUnknown.Add(1)
+	f.counts.unknown.Add(1)
 	status := http.StatusBadGateway
 	if k == uplink.KindTimeout {
 		status = http.StatusGatewayTimeout
@@ -74,7 +74,7 @@
 
 // replyDuplicate answers a request whose idempotency key is already claimed.
 func (f *Handler[D, C]) replyDuplicate(x *exchange, a model.ClaimAnswer) {
-	f.counts.replyDuplicate.Add(1)
+	f.counts.duplicate.Add(1)
 	first := OutcomeUnknown
 	switch a.FirstState {
 	case model.ClaimRunning:
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -80,16 +80,16 @@
 	default:
 		finishGrant(entry.OutcomeOK)
 	}
-	h := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: (*buf)[:n], length: resp.ContentLength}
+	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: (*buf)[:n], length: resp.ContentLength}
 	if !res.NotRun {
-		return attemptResult{result: f.deliver(x, h, OutcomeRan)}
+		return attemptResult{result: f.deliver(x, buffered, OutcomeRan)}
 	}
 	if mayRetry && !streamed && x.ctx.Err() == nil {
-		h.body = append([]byte(nil), h.body...)
-		x.fallback = h
+		buffered.body = append([]byte(nil), buffered.body...)
+		x.fallback = buffered
 		return attemptResult{mayRetry: true, reason: "the upstream did not run the request"}
 	}
-	return attemptResult{result: f.deliver(x, h, OutcomeNotRun)}
+	return attemptResult{result: f.deliver(x, buffered, OutcomeNotRun)}
 }
 
 // readUpTo reads until the buffer is full or r ends. It returns a nil error for
@@ -137,7 +137,7 @@
 			outcome = entry.OutcomeCancelled
 		}
 		f.counts.aborted.Add(1)
-		f.counts.replyUnknown.Add(1)
+		f.counts.unknown.Add(1)
 		panic(http.ErrAbortHandler)
 	}
 	if notRun {
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -23,9 +23,15 @@
 
 // The values of HeaderOutcome.
 const (
-	OutcomeRan       = "ran"
-	OutcomeNotRun    = uplink.OutcomeNotRun
-	OutcomeUnknown   = "unknown"
+	// OutcomeRan: an upstream ran the request and sent a valid response.
+	OutcomeRan = "ran"
+	// OutcomeNotRun: the request certainly did not run.
+	OutcomeNotRun = uplink.OutcomeNotRun
+	// OutcomeUnknown: the request may have run, but no complete, valid response
+	// was received.
+	OutcomeUnknown = "unknown"
+	// OutcomeDuplicate: an earlier request claimed the idempotency key, so this
+	// one did not run.
 	OutcomeDuplicate = "duplicate"
 )
 
@@ -65,7 +71,11 @@
 // Dispatcher grants upstream slots to requests or refuses them. The production
 // implementation is entry.Dispatcher.
 type Dispatcher interface {
+	// Ask waits until the request is granted or refused. If the refusal is nil,
+	// Done must be called once for the grant.
 	Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal)
+	// Done releases a grant. It reports the outcome of the attempt and the time
+	// that it took.
 	Done(t entry.Ticket, o entry.Outcome, elapsed clock.Millis)
 }
 
@@ -114,7 +124,10 @@
 	}
 }
 
-// Counts holds the counters of the front end; they never decrease.
+// Counts holds the counters of the front end; they never decrease. Ran, NotRun,
+// Unknown and Duplicate count requests by outcome. Aborted counts the requests
+// whose streamed response could not be forwarded to its end; Unknown includes
+// them. Retries counts retries, including those that the dispatcher refuses.
 type Counts struct {
 	Ran, NotRun, Unknown, Duplicate, Aborted, Retries int64
 }
--- a/io/trans/uplink/atmostonce_test.go
+++ b/io/trans/uplink/atmostonce_test.go
@@ -61,9 +61,9 @@
 	},
 }
 
-// Guards against a request that reaches the upstream twice, for every kind of
-// request that net/http itself would retry, and against a false NotRun. The
-// bytes that the upstream received decide.
+// TestNoRequestIsSentTwice guards against a request that reaches the upstream
+// twice, for every kind of request that net/http itself would retry, and
+// against a false NotRun. The bytes that the upstream received decide.
 func TestNoRequestIsSentTwice(t *testing.T) {
 	for _, moment := range []string{"before", "during", "after"} {
 		for _, reused := range []bool{false, true} {
@@ -109,8 +109,9 @@
 	}
 }
 
-// Guards against a NotRun for a request that net/http still writes afterwards.
-// The deadlines fall into every phase of opening a connection and writing.
+// TestNotRunIsTrueAtEveryDeadline guards against a NotRun for a request that
+// net/http still writes afterwards. The deadlines fall into every phase of
+// opening a connection and writing.
 func TestNotRunIsTrueAtEveryDeadline(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
 		time.Sleep(200 * time.Microsecond)
@@ -148,8 +149,8 @@
 	}
 }
 
-// Guards against ignoring a not-run outcome reported by the upstream, and
-// against treating a connection error as an unknown outcome.
+// TestNotRunIsRecognized guards against ignoring a not-run outcome reported by
+// the upstream, and against treating a connection error as an unknown outcome.
 func TestNotRunIsRecognized(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, _ *http.Request) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nCamphorridge-Outcome: not-run\r\n\r\n")
@@ -169,8 +170,8 @@
 	assert.Equal(t, cl.OpenConnections("ib"), 0)
 }
 
-// Guards against sending a request for an earlier incarnation to the current
-// process, which may serve another pool.
+// TestEarlierIncarnationIsRefused guards against sending a request for an
+// earlier incarnation to the current process, which may serve another pool.
 func TestEarlierIncarnationIsRefused(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool { return respondOK(c, r) }))
 	cl := newClient(t)
--- a/io/trans/uplink/body.go
+++ b/io/trans/uplink/body.go
@@ -16,8 +16,8 @@
 	client  *Client
 	ctx     context.Context
 	started clock.Millis
-	// settled is true once the connection was handed back or closed.
-	settled bool
+	// released is true once the connection was handed back or closed.
+	released bool
 }
 
 // Read implements io.Reader. If the response ends early, the error is an
@@ -25,14 +25,14 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
 	switch {
-	case err == nil || b.settled:
+	case err == nil || b.released:
 		return n, err
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		b.settled = true
+		b.released = true
 		b.conn.finishResponse()
 		return n, io.EOF
 	}
-	b.settled = true
+	b.released = true
 	b.conn.blockWrites()
 	_ = b.conn.Close()
 	kind := b.client.classifyFailure(b.ctx, b.conn.pool, b.started, true)
@@ -45,8 +45,8 @@
 // Close implements io.Closer. It closes the connection if the body was not
 // read to its end.
 func (b *responseBody) Close() error {
-	if !b.settled {
-		b.settled = true
+	if !b.released {
+		b.released = true
 		b.conn.blockWrites()
 		_ = b.conn.Close()
 	}
--- a/io/trans/uplink/client_test.go
+++ b/io/trans/uplink/client_test.go
@@ -18,8 +18,9 @@
 	"gotest.tools/v3/poll"
 )
 
-// Guards against forwarding a malformed, mismatched or truncated response. The
-// request may have run, but the caller must not get the response.
+// TestUntrustedResponsesAreErrors guards against forwarding a malformed,
+// mismatched or truncated response. The request may have run, but the caller
+// must not get the response.
 func TestUntrustedResponsesAreErrors(t *testing.T) {
 	for _, c := range []struct {
 		name, response string
@@ -58,8 +59,8 @@
 	return poll.Continue("not yet")
 }
 
-// Guards against surplus bytes after a response being taken for the response
-// to the next request on the connection.
+// TestUnsolicitedBytesReachNoRequest guards against surplus bytes after a
+// response being taken for the response to the next request on the connection.
 func TestUnsolicitedBytesReachNoRequest(t *testing.T) {
 	extra := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
 	for _, delay := range []time.Duration{0, 50 * time.Microsecond, time.Millisecond} {
@@ -91,8 +92,8 @@
 	}
 }
 
-// Guards against a response that arrives after its request timed out being
-// taken for the response to a later request.
+// TestLateResponseIsDiscarded guards against a response that arrives after its
+// request timed out being taken for the response to a later request.
 func TestLateResponseIsDiscarded(t *testing.T) {
 	release := make(chan struct{})
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
@@ -110,8 +111,8 @@
 	assert.Equal(t, body, "<next>")
 }
 
-// Guards against request after request timing out on idle connections for which
-// a middlebox has dropped its state.
+// TestTimeoutClosesIdleConnections guards against request after request timing
+// out on idle connections for which a middlebox has dropped its state.
 func TestTimeoutClosesIdleConnections(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
 		time.Sleep(20 * time.Millisecond)
@@ -147,7 +148,8 @@
 	return len(p.idle)
 }
 
-// Guards against opening more connections than MaxConnections.
+// TestConnectionLimit guards against opening more connections than
+// MaxConnections.
 func TestConnectionLimit(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
 		time.Sleep(time.Millisecond)
@@ -173,8 +175,9 @@
 	assert.Assert(t, u.maxOpenConns <= 4, "%d connections were open", u.maxOpenConns)
 }
 
-// Guards against idle connections that are never probed, that are closed
-// although they work, or that are never closed.
+// TestIdleConnectionsAreProbedAndClosed guards against idle connections that
+// are never probed, that are closed although they work, or that are never
+// closed.
 func TestIdleConnectionsAreProbedAndClosed(t *testing.T) {
 	var mu sync.Mutex
 	probes := 0
@@ -225,7 +228,8 @@
 	assert.Equal(t, len(cl.allPools()), 0)
 }
 
-// Guards against forwarding hop-by-hop headers, in either direction.
+// TestHopByHopHeaders guards against forwarding hop-by-hop headers, in either
+// direction.
 func TestHopByHopHeaders(t *testing.T) {
 	var got http.Header
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
@@ -246,7 +250,8 @@
 	assert.Equal(t, resp.Header.Get("X-Hop")+resp.Header.Get("Keep-Alive"), "")
 }
 
-// Guards against a cancelled request closing more than its own connection.
+// TestCancelClosesOneConnection guards against a cancelled request closing more
+// than its own connection.
 func TestCancelClosesOneConnection(t *testing.T) {
 	hang := make(chan struct{})
 	u := newScriptedUpstream(t, func(n int, c net.Conn) {
@@ -275,9 +280,9 @@
 	assert.Equal(t, cl.OpenConnections("ia"), 1)
 }
 
-// Guards against a request being written after its WriteDeadline, which is the
-// end of a loan, and against connections that stay open after Close, which is
-// called when the loan is returned.
+// TestWriteDeadlineAndClose guards against a request being written after its
+// WriteDeadline, which is the end of a loan, and against connections that stay
+// open after Close, which is called when the loan is returned.
 func TestWriteDeadlineAndClose(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool { return respondOK(c, r) }))
 	cl := newClient(t)
--- a/io/trans/uplink/types.go
+++ b/io/trans/uplink/types.go
@@ -131,7 +131,12 @@
 	}
 }
 
-// Counts holds the counters of a Client; they never decrease.
+// Counts holds the counters of a Client; they never decrease. TimedOut counts
+// written requests without a complete response at their deadline. Mismatched
+// and Framing count responses that were not forwarded; see KindMismatched and
+// KindFraming. Unsolicited counts connections closed because of bytes that
+// arrived while no response was expected. ClosedAsUnresponsive counts idle
+// connections closed because a request or probe on another connection failed.
 type Counts struct {
 	Requests, Opened, Closed, ConnectFailed, TimedOut, Mismatched, Unsolicited, Framing, Probes, ProbesFailed, ClosedAsUnresponsive int64
 }
