peers, front: document the methods of Group and Mover, rename test locals

Group.Propose, Group.Status and Mover.Status had no comment, and the comment of proposeError did not say which rule it keeps.

--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -28,10 +28,10 @@
 // the arrivals.
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		answer  string
-		status  int
-		outcome string
+		name     string
+		response string
+		status   int
+		outcome  string
 	}{
 		{"whole", "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nhi", 201, OutcomeRan},
 		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200, OutcomeRan},
@@ -49,16 +49,16 @@
 	} {
 		hang := make(chan struct{})
 		u := newScriptedUpstream(t, func(conn net.Conn, _ *http.Request) {
-			if c.answer == "silent" {
+			if c.response == "silent" {
 				<-hang
 				return
 			}
-			writeResponse(conn, c.answer)
+			writeResponse(conn, c.response)
 		})
 		g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 		for _, key := range []string{"", "k1"} {
 			r := g.request(t, "POST", "acme", "x", "X-Mark", "m"+key, HeaderTimeout, "5000")
-			if c.answer == "silent" {
+			if c.response == "silent" {
 				r.Header.Set(HeaderTimeout, "100")
 			}
 			if key != "" {
@@ -227,9 +227,9 @@
 	g.claims.mu.Lock()
 	g.claims.err = errors.New("no quorum")
 	g.claims.mu.Unlock()
-	cut, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k2"))
-	assert.Equal(t, cut.StatusCode, 503)
-	assert.Equal(t, cut.Header.Get(HeaderOutcome), OutcomeNotRun)
+	unclaimed, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k2"))
+	assert.Equal(t, unclaimed.StatusCode, 503)
+	assert.Equal(t, unclaimed.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
 
 // TestRetryAfterProvenNotRun guards against missing retries of requests that
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -23,6 +23,8 @@
 // Group gives the servers access to the consensus group of the control
 // processes.
 type Group interface {
+	// Propose proposes a change and returns its result once it is applied. A
+	// notLeaderError means that nothing was proposed.
 	Propose(ctx context.Context, c model.Change) (model.Result, error)
 	// Read returns once the replicated state is recent enough for a
 	// linearizable read that starts now.
@@ -35,6 +37,7 @@
 	Step(all []raft.Message) error
 	// Join adds a member to the group. This member must be the leader.
 	Join(ctx context.Context, m raft.Member) error
+	// Status returns this member's Raft state.
 	Status() GroupStatus
 	// Hello describes this process.
 	Hello() boot.Hello
@@ -54,6 +57,8 @@
 	// Report passes on the report of an entry process. It does not block; it
 	// returns false if the mover's ring is full.
 	Report(r follow.Report) bool
+	// Status returns the latest reports and the steps that have to wait. It is
+	// empty if ctx ends first.
 	Status(ctx context.Context) mover.Status
 }
 
@@ -143,9 +148,9 @@
 	return refusal, note
 }
 
-// proposeError maps an error of Group to a Twirp error. Group may return a
-// notLeaderError only if nothing was proposed, because the caller takes it to
-// mean that nothing was done.
+// proposeError maps an error of Group to a Twirp error. Only a notLeaderError,
+// after which nothing was proposed, may tell the caller that this member is not
+// the leader: the caller takes that to mean that nothing was done.
 func (s *ControlServer[G, M]) proposeError(err error) error {
 	var e notLeaderError
 	if errors.As(err, &e) {
--- a/io/trans/uplink/helpers_test.go
+++ b/io/trans/uplink/helpers_test.go
@@ -147,11 +147,11 @@
 
 // call sends a request with the given timeout and returns the body of its
 // response.
-func call(t testing.TB, l *Client, up Upstream, r *http.Request, timeout time.Duration) (string, Result, error) {
+func call(t testing.TB, cl *Client, up Upstream, r *http.Request, timeout time.Duration) (string, Result, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
-	resp, res, err := l.Do(ctx, up, r)
+	resp, res, err := cl.Do(ctx, up, r)
 	if err != nil {
 		return "", res, err
 	}
@@ -162,9 +162,9 @@
 
 func newClient(t testing.TB) *Client {
 	t.Helper()
-	l := New(Defaults(), clock.Real())
-	t.Cleanup(l.Stop)
-	return l
+	cl := New(Defaults(), clock.Real())
+	t.Cleanup(cl.Stop)
+	return cl
 }
 
 // longTimeout bounds waits that are expected to end.
