--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -20,7 +20,7 @@
 	KindUnreachable Kind = iota
 	// KindNotLeader: the called member is not the leader; nothing was done.
 	KindNotLeader
-	// KindInvalid: the request is malformed; nothing was done.
+	// KindInvalid: the called process rejected the request as malformed.
 	KindInvalid
 	// KindUnknown: any other failure, such as a timeout or a connection error.
 	// The request may or may not have been executed.
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -21,8 +21,8 @@
 
 // WorkServer implements the Work service, which submitters call, in a control
 // process.
-type WorkServer[W Runner] struct {
-	Runner W
+type WorkServer[R Runner] struct {
+	Runner R
 	Stamps Stamps
 	// RequireLeader returns an error that names the leader unless this member is
 	// the leader.
@@ -30,7 +30,7 @@
 }
 
 // Handle passes a call to the runner if this member is the leader.
-func (s WorkServer[W]) Handle(ctx context.Context, r *wirepb.WorkCall) (*wirepb.WorkAnswer, error) {
+func (s WorkServer[R]) Handle(ctx context.Context, r *wirepb.WorkCall) (*wirepb.WorkAnswer, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	if err := s.RequireLeader(); err != nil {
 		return nil, err
