--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -13,49 +13,54 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Worker is what the server needs of the runner duty.
-type Worker interface {
+// Runner executes calls of submitters; the production implementation is
+// runner.Runner.
+type Runner interface {
 	Call(ctx context.Context, c runner.Call) runner.Answer
 }
 
-// WorkServer serves calls of submitters in a control process.
-type WorkServer[W Worker] struct {
-	Worker W
+// WorkServer implements the Work service, which submitters call, in a control
+// process.
+type WorkServer[R Runner] struct {
+	Runner R
 	Stamps Stamps
-	// Leader returns an error that names the leader unless this member leads.
-	Leader func() error
+	// RequireLeader returns an error that names the leader unless this member is
+	// the leader.
+	RequireLeader func() error
 }
 
-// Handle passes a call to the runner.
-func (s WorkServer[W]) Handle(ctx context.Context, r *wirepb.WorkCall) (*wirepb.WorkAnswer, error) {
+// Handle passes a call to the runner if this member is the leader.
+func (s WorkServer[R]) Handle(ctx context.Context, r *wirepb.WorkCall) (*wirepb.WorkAnswer, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	if err := s.Leader(); err != nil {
+	if err := s.RequireLeader(); err != nil {
 		return nil, err
 	}
 	c, err := codec.CallFromWire(r)
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("call", err.Error())
 	}
-	w := codec.AnswerToWire(s.Worker.Call(ctx, c))
+	w := codec.AnswerToWire(s.Runner.Call(ctx, c))
 	w.Stamp = codec.StampToWire(s.Stamps.Next())
 	return w, nil
 }
 
-// workTimeout bounds one try of a call. Such a call is idempotent and usually
-// takes one commit, so that a frozen leader is better left early.
+// workTimeout bounds one attempt of CallRunner. It is shorter than
+// attemptTimeout, so that an unresponsive leader is given up early: a call
+// usually takes one commit, and it is idempotent.
 const workTimeout clock.Millis = 600
 
-// Work hands a call to the leader. An error of KindUnknown means that the call
-// may have been carried out; after one of another kind it was not.
-func (l *Leader) Work(ctx context.Context, c runner.Call) (runner.Answer, error) {
+// CallRunner sends a call to the leader's runner. After an *Error of KindUnknown
+// the call may have been executed; after one of another kind, such as
+// KindUnreachable if no attempt reached a leader, it was not.
+func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
-	reached := false
+	mayHaveRun := false
 	req := codec.CallToWire(c)
 	req.Stamp = l.client.stamp()
-	err := l.search(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
+	err := l.callWithTimeout(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
 		resp, err := to.work.Handle(ctx, req)
 		if err != nil {
-			reached = reached || mayHaveRun(err)
+			mayHaveRun = mayHaveRun || attemptMayHaveRun(err)
 			return err
 		}
 		l.client.observe(resp.GetStamp())
@@ -63,16 +68,16 @@
 		return err
 	})
 	var e *Error
-	if errors.As(err, &e) && e.Kind == KindUnknown && !reached {
+	if errors.As(err, &e) && e.Kind == KindUnknown && !mayHaveRun {
 		e.Kind = KindUnreachable
 	}
 	return a, err
 }
 
-// mayHaveRun reports whether a failed call may have been carried out: not when
-// no connection was made, and not when the member answered that it does not
-// lead.
-func mayHaveRun(err error) bool {
+// attemptMayHaveRun reports whether the call of a failed attempt may have been
+// executed. It was not if no connection could be opened, or if the member
+// responded that it is not the leader or that the call is malformed.
+func attemptMayHaveRun(err error) bool {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return false
@@ -81,8 +86,9 @@
 	return mapped.Kind != KindNotLeader && mapped.Kind != KindInvalid
 }
 
-// Uncertain reports whether a failed call may have been carried out.
-func Uncertain(err error) bool {
+// MayHaveRun reports whether a call may have been executed although CallRunner
+// returned the error err.
+func MayHaveRun(err error) bool {
 	var e *Error
 	return !errors.As(err, &e) || e.Kind == KindUnknown
 }
