Name exported roles and admin identifiers by what they do

roles.Submitter, which serves submitters, is now SubmitService, like JobsService; Duty is Component, and option fields that hold an address say so. admin.Count, Value, Histogram and Fetch are RegisterCounter, RegisterGauge, RegisterHistogram and FetchEvents.

--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -29,22 +29,22 @@
 	version.Update(118)
 	assert.NilError(t, r.Register("requests", requests))
 	assert.NilError(t, r.Register("table-version", version))
-	wait, err := admin.Histogram(r, "request-wait-ms")
+	wait, err := admin.RegisterHistogram(r, "request-wait-ms")
 	assert.NilError(t, err)
 	for i := range 100 {
 		wait.Update(int64(i + 1))
 	}
-	_, err = admin.Histogram(r, "request-elapsed-ms")
+	_, err = admin.RegisterHistogram(r, "request-elapsed-ms")
 	assert.NilError(t, err)
-	assert.NilError(t, admin.Count(r, "requests.", func() int64 { return 7 }))
-	assert.NilError(t, admin.Value(r, "request-wait-ms-count", func() int64 { return 8 }))
-	assert.NilError(t, admin.Value(r, "table.version", func() int64 { return 9 }))
-	assert.NilError(t, admin.Value(r, "9 queue/über", func() int64 { return -1 }))
+	assert.NilError(t, admin.RegisterCounter(r, "requests.", func() int64 { return 7 }))
+	assert.NilError(t, admin.RegisterGauge(r, "request-wait-ms-count", func() int64 { return 8 }))
+	assert.NilError(t, admin.RegisterGauge(r, "table.version", func() int64 { return 9 }))
+	assert.NilError(t, admin.RegisterGauge(r, "9 queue/über", func() int64 { return -1 }))
 	load := metrics.NewGaugeFloat64()
 	load.Update(0.25)
 	assert.NilError(t, r.Register("load", load))
 	var e2 *admin.Error
-	assert.Assert(t, errors.As(admin.Value(r, "load", nil), &e2) && e2.Kind == admin.KindRegister)
+	assert.Assert(t, errors.As(admin.RegisterGauge(r, "load", nil), &e2) && e2.Kind == admin.KindRegister)
 	var b bytes.Buffer
 	assert.NilError(t, admin.Expose(&b, r, []admin.Label{{Name: "process", Value: `e"1\`}, {Name: "zone", Value: "a\nb"}}))
 	golden.Assert(t, b.String(), "entry.txt")
@@ -130,7 +130,7 @@
 		}
 		return out
 	}})
-	events, err := admin.Fetch(t.Context(), http.DefaultClient, s.Addr(), 2)
+	events, err := admin.FetchEvents(t.Context(), http.DefaultClient, s.Addr(), 2)
 	assert.NilError(t, err)
 	assert.Equal(t, len(events), total-2)
 	for i, e := range events {
@@ -143,11 +143,11 @@
 		_, _ = io.WriteString(w, "[]")
 	}))
 	defer refusing.Close()
-	_, err = admin.Fetch(t.Context(), http.DefaultClient, refusing.Listener.Addr().String(), 0)
+	_, err = admin.FetchEvents(t.Context(), http.DefaultClient, refusing.Listener.Addr().String(), 0)
 	assert.ErrorContains(t, err, "status 503")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = admin.Fetch(ctx, http.DefaultClient, s.Addr(), 0)
+	_, err = admin.FetchEvents(ctx, http.DefaultClient, s.Addr(), 0)
 	assert.ErrorIs(t, err, context.Canceled)
 }
 
--- a/io/trans/admin/fetch.go
+++ b/io/trans/admin/fetch.go
@@ -18,9 +18,9 @@
 	maxPages = 128
 )
 
-// Fetch returns the events of the process whose admin endpoint has the given
+// FetchEvents returns the events of the process whose admin endpoint has the given
 // address, from those after the sequence number since.
-func Fetch(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
+func FetchEvents(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
 	var all []model.Event
 	for range maxPages {
 		page, err := fetchPage(ctx, c, address, since)
--- a/io/trans/admin/stats.go
+++ b/io/trans/admin/stats.go
@@ -14,20 +14,20 @@
 	reservoirAlpha = 0.015
 )
 
-// Count registers a counter that a duty keeps by itself; f must be usable
+// RegisterCounter registers a counter that a duty keeps by itself; f must be usable
 // from any goroutine.
-func Count(r metrics.Registry, name string, f func() int64) error {
+func RegisterCounter(r metrics.Registry, name string, f func() int64) error {
 	return register(r, name, countFunc(f))
 }
 
-// Value registers a gauge that a duty keeps by itself; f must be usable from
+// RegisterGauge registers a gauge that a duty keeps by itself; f must be usable from
 // any goroutine.
-func Value(r metrics.Registry, name string, f func() int64) error {
+func RegisterGauge(r metrics.Registry, name string, f func() int64) error {
 	return register(r, name, metrics.NewFunctionalGauge(f))
 }
 
-// Histogram registers a new histogram.
-func Histogram(r metrics.Registry, name string) (metrics.Histogram, error) {
+// RegisterHistogram registers a new histogram.
+func RegisterHistogram(r metrics.Registry, name string) (metrics.Histogram, error) {
 	h := NewHistogram()
 	return h, register(r, name, h)
 }
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -224,8 +224,8 @@
 	counters(r, usage(c.client.Traffic))
 	counters(r, []counter{{"log-lines-dropped", c.logLines}})
 	c.jobMetrics(r)
-	_ = admin.Value(r, "term", func() int64 { return int64(c.member.Status().Term) })
-	_ = admin.Value(r, "commit-index", func() int64 { return int64(c.member.ask(context.Background()).Commit) })
+	_ = admin.RegisterGauge(r, "term", func() int64 { return int64(c.member.Status().Term) })
+	_ = admin.RegisterGauge(r, "commit-index", func() int64 { return int64(c.member.ask(context.Background()).Commit) })
 	consensusCount := func(f func(group.Counts) int64) func() int64 {
 		return func() int64 { return f(c.member.ask(context.Background()).Counts) }
 	}
@@ -238,7 +238,7 @@
 		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
 		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.RefusedInputs })},
 	})
-	_ = admin.Value(r, "leader", func() int64 {
+	_ = admin.RegisterGauge(r, "leader", func() int64 {
 		if _, ok := c.member.Leads(); ok {
 			return 1
 		}
--- a/io/trans/roles/counters.go
+++ b/io/trans/roles/counters.go
@@ -16,7 +16,7 @@
 // a clash is a programming error that the first scrape of a test shows.
 func counters(r metrics.Registry, all []counter) {
 	for _, c := range all {
-		if err := admin.Count(r, c.name, c.read); err != nil {
+		if err := admin.RegisterCounter(r, c.name, c.read); err != nil {
 			panic(err)
 		}
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -313,10 +313,10 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	counters(r, usage(e.client.Traffic))
-	_ = admin.Value(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
-	_ = admin.Value(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
+	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
+	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
 	_ = r.Register("request-wait-ms", e.timed.wait)
 	_ = r.Register("request-elapsed-ms", e.timed.elapsed)
-	_ = admin.Value(r, "table-version", func() int64 { return int64(e.poller.Version()) })
+	_ = admin.RegisterGauge(r, "table-version", func() int64 { return int64(e.poller.Version()) })
 	return r
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -26,9 +26,9 @@
 
 // JobsOptions says how a control process runs jobs.
 type JobsOptions struct {
-	// Listen is the address for workers and operators; empty for a process
+	// Address is the address for workers and operators; empty for a process
 	// that runs no jobs.
-	Listen string
+	Address string
 	// Handler makes the handler for that address.
 	Handler  func(JobsService) http.Handler
 	Settings sched.Settings
@@ -55,13 +55,13 @@
 
 // serveJobs adds the runner and the server for workers and operators.
 func (c *Control) serveJobs(g *run.Group, o JobsOptions) error {
-	if o.Listen == "" {
+	if o.Address == "" {
 		return nil
 	}
 	if o.Machines == nil {
 		o.Machines = noMachines{}
 	}
-	l, err := listen("workers and operators", o.Listen)
+	l, err := listen("workers and operators", o.Address)
 	if err != nil {
 		return err
 	}
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -45,15 +45,15 @@
 // ExitForced is the exit status after a second signal.
 const ExitForced = 3
 
-// Duty is a part of a process with one goroutine of its own.
-type Duty interface {
+// Component is a part of a process with one goroutine of its own.
+type Component interface {
 	Run() error
 	Stop()
 }
 
 // add adds a duty to the group. Parts are interrupted in the order in which
 // they were added, so that those that serve requests go first.
-func add(g *run.Group, d Duty) {
+func add(g *run.Group, d Component) {
 	g.Add(d.Run, func(error) { d.Stop() })
 }
 
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -46,24 +46,24 @@
 	Name     model.Process
 	Zone     model.Zone
 	Controls []model.Member
-	// Front and Ready are the addresses for submitters and for readiness
+	// FrontAddress and ReadyAddress are the addresses for submitters and for readiness
 	// checks.
-	Front string
-	Ready string
+	FrontAddress string
+	ReadyAddress string
 	// Handler makes the handler for submitters, and ReadyHandler that for
 	// readiness checks.
-	Handler        func(Submitter) http.Handler
-	ReadyHandler   func(Submitter) http.Handler
+	Handler        func(SubmitService) http.Handler
+	ReadyHandler   func(SubmitService) http.Handler
 	MaxHeaderBytes int
-	// Admin is the address for metrics.
-	Admin string
+	// AdminAddress is the address for metrics.
+	AdminAddress string
 	// Reload reads the control processes from the settings anew.
 	Reload   func() ([]model.Member, error)
 	LogLevel string
 }
 
-// Submitter is what an adapter for submitters works with.
-type Submitter struct {
+// SubmitService is what an adapter for submitters works with.
+type SubmitService struct {
 	leader  *peers.Leader
 	clock   clock.Clock
 	Log     *log.Logger
@@ -81,7 +81,7 @@
 }
 
 // registry returns the metrics of the process.
-func (s Submitter) registry(client *peers.Client, dropped func() int64) metrics.Registry {
+func (s SubmitService) registry(client *peers.Client, dropped func() int64) metrics.Registry {
 	r := metrics.NewRegistry()
 	for kind := range s.stats.answers {
 		counters(r, []counter{{"calls-" + runner.AnswerKind(kind).String(), s.stats.answers[kind].Load}})
@@ -96,7 +96,7 @@
 // been carried out. A call that may have been is handed in again as long as
 // the caller waits: it is idempotent, and only a definite answer helps the
 // caller. One that was not is refused soon, so that the caller can come back.
-func (s Submitter) Call(ctx context.Context, c runner.Call) runner.Answer {
+func (s SubmitService) Call(ctx context.Context, c runner.Call) runner.Answer {
 	began := s.clock.Now()
 	a := s.call(ctx, c, began+leaderWait)
 	s.stats.millis.Update(int64(s.clock.Now() - began))
@@ -104,7 +104,7 @@
 	return a
 }
 
-func (s Submitter) call(ctx context.Context, c runner.Call, soon clock.Millis) runner.Answer {
+func (s SubmitService) call(ctx context.Context, c runner.Call, soon clock.Millis) runner.Answer {
 	uncertain := false
 	for {
 		a := s.try(ctx, c)
@@ -127,7 +127,7 @@
 }
 
 // try hands a call to the leader once.
-func (s Submitter) try(ctx context.Context, c runner.Call) runner.Answer {
+func (s SubmitService) try(ctx context.Context, c runner.Call) runner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait.Duration())
 	defer cancel()
 	a, err := s.leader.Work(ctx, c)
@@ -142,12 +142,12 @@
 
 // Ready reports whether new callers are welcome: the leader was reached lately
 // and the process is not stopping.
-func (s Submitter) Ready() bool {
+func (s SubmitService) Ready() bool {
 	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.pinged.Load()) < pingAge
 }
 
 // notReady is the reason why new callers are not welcome; empty when they are.
-func (s Submitter) notReady() string {
+func (s SubmitService) notReady() string {
 	if s.Ready() {
 		return ""
 	}
@@ -155,7 +155,7 @@
 }
 
 // Leaving reports whether the process is stopping.
-func (s Submitter) Leaving() bool { return s.leaving.Load() }
+func (s SubmitService) Leaving() bool { return s.leaving.Load() }
 
 // RunSubmit runs an entry process for submitters until a signal stops it.
 func RunSubmit(o SubmitOptions, out io.Writer) error {
@@ -168,22 +168,22 @@
 	}
 	recorder := record.New(o.Name, entryEvents, clk)
 	client := peers.NewClient(o.Name, recorder)
-	s := Submitter{
+	s := SubmitService{
 		leader: peers.NewLeader(client, o.Controls, clk), clock: clk, Log: lg,
 		pinged: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{millis: admin.NewHistogram()},
 	}
 	var g run.Group
 	addSignals(&g, lg)
-	callers, err := listen("submitters", o.Front)
+	callers, err := listen("submitters", o.FrontAddress)
 	if err != nil {
 		return err
 	}
-	ready, err := listen("readiness", o.Ready)
+	ready, err := listen("readiness", o.ReadyAddress)
 	if err != nil {
 		return err
 	}
 	adm, err := admin.New(admin.Config{
-		Address: o.Admin, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
+		Address: o.AdminAddress, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
 		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStop, Registry: s.registry(client, async.Dropped),
 	})
 	if err != nil {
@@ -195,7 +195,7 @@
 	add(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
 	add(&g, adm)
 	add(&g, recorder)
-	lg.Info("started", "front", o.Front)
+	lg.Info("started", "front", o.FrontAddress)
 	err = g.Run()
 	client.Close()
 	lg.Info("stopped", "err", err)
@@ -204,7 +204,7 @@
 
 // addCallers adds the server for submitters. It stops in three steps: the
 // readiness check fails, the listener closes, open requests end.
-func (s Submitter) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
+func (s SubmitService) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
 	h := o.Handler(s)
 	server := front.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Leaving() {
@@ -223,7 +223,7 @@
 
 // pinger is the duty that checks whether the leader can be reached.
 type pinger struct {
-	submitter Submitter
+	submitter SubmitService
 	done      chan struct{}
 }
 
