--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -21,11 +21,11 @@
 
 // Bounds of the endpoint.
 const (
-	headerTimeout  = 5 * time.Second
-	requestTimeout = 10 * time.Second
-	writeTimeout   = 30 * time.Second
-	idleTimeout    = time.Minute
-	maxHeader      = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 10 * time.Second
+	writeTimeout      = 30 * time.Second
+	idleTimeout       = time.Minute
+	maxHeaderBytes    = 16 << 10
 	// PageSize is the largest number of events in one response. At about 200
 	// bytes each the response stays near 2 MB.
 	PageSize = 10_000
@@ -69,8 +69,8 @@
 	s := &Server{cfg: cfg, listener: l, done: make(chan struct{})}
 	s.http = &http.Server{
 		Handler: s.Handler(), ErrorLog: cfg.ErrorLog,
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	return s, nil
 }
@@ -105,13 +105,13 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", s.metrics)
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { text(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /events", s.events)
 	return mux
 }
 
-func text(w http.ResponseWriter, status int, line string) {
+func writeText(w http.ResponseWriter, status int, line string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	w.WriteHeader(status)
@@ -126,10 +126,10 @@
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if reason := s.cfg.Ready(); reason != "" {
-		text(w, http.StatusServiceUnavailable, "not ready: "+reason)
+		writeText(w, http.StatusServiceUnavailable, "not ready: "+reason)
 		return
 	}
-	text(w, http.StatusOK, "ready")
+	writeText(w, http.StatusOK, "ready")
 }
 
 // events answers with at most PageSize events; the client asks again with the
@@ -139,14 +139,14 @@
 	if v := r.URL.Query().Get("since"); v != "" {
 		n, err := strconv.ParseUint(v, 10, 64)
 		if err != nil {
-			text(w, http.StatusBadRequest, fmt.Sprintf("since = %q is not a sequence number of 0 or more", v))
+			writeText(w, http.StatusBadRequest, fmt.Sprintf("since = %q is not a sequence number of 0 or more", v))
 			return
 		}
 		since = n
 	}
 	data, err := report.EventsToJSON(s.cfg.Events(since, PageSize))
 	if err != nil {
-		text(w, http.StatusInternalServerError, err.Error())
+		writeText(w, http.StatusInternalServerError, err.Error())
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -23,8 +23,8 @@
 	Value string
 }
 
-// named is a metric with its name in the registry.
-type named struct {
+// namedMetric is a metric with its name in the registry.
+type namedMetric struct {
 	name   string
 	metric any
 }
@@ -32,12 +32,12 @@
 // Expose writes the metrics in the text format 0.0.4 that scrapers read,
 // sorted by name.
 func Expose(w io.Writer, r metrics.Registry, labels []Label) error {
-	x := exposer{labels: labelText(labels), taken: map[string]bool{}}
-	var all []named
-	r.Each(func(name string, m any) { all = append(all, named{name, m}) })
-	slices.SortFunc(all, func(a, b named) int { return strings.Compare(a.name, b.name) })
+	x := exposer{labels: formatLabels(labels), usedNames: map[string]bool{}}
+	var all []namedMetric
+	r.Each(func(name string, m any) { all = append(all, namedMetric{name, m}) })
+	slices.SortFunc(all, func(a, b namedMetric) int { return strings.Compare(a.name, b.name) })
 	for _, n := range all {
-		x.metric(n.name, n.metric)
+		x.writeMetric(n.name, n.metric)
 	}
 	_, err := io.WriteString(w, x.out.String())
 	return err
@@ -46,21 +46,21 @@
 type exposer struct {
 	out    strings.Builder
 	labels string
-	// taken holds the names written: two names of the registry can become the
+	// usedNames holds the names written: two names of the registry can become the
 	// same name here.
-	taken map[string]bool
+	usedNames map[string]bool
 }
 
-func (x *exposer) metric(name string, m any) {
+func (x *exposer) writeMetric(name string, m any) {
 	switch m := m.(type) {
 	case metrics.Counter:
-		x.single(name, "_total", "counter", float64(m.Count()))
+		x.writeSingle(name, "_total", "counter", float64(m.Count()))
 	case metrics.Meter:
-		x.single(name, "_total", "counter", float64(m.Count()))
+		x.writeSingle(name, "_total", "counter", float64(m.Count()))
 	case metrics.Gauge:
-		x.single(name, "", "gauge", float64(m.Value()))
+		x.writeSingle(name, "", "gauge", float64(m.Value()))
 	case metrics.GaugeFloat64:
-		x.single(name, "", "gauge", m.Value())
+		x.writeSingle(name, "", "gauge", m.Value())
 	case metrics.Histogram:
 		s := m.Snapshot()
 		total, known := m.Sample().(interface{ Total() int64 })
@@ -68,26 +68,26 @@
 		if known {
 			sum = float64(total.Total())
 		}
-		x.summary(name, s.Percentiles(quantiles), sum, s.Count())
+		x.writeSummary(name, s.Percentiles(quantiles), sum, s.Count())
 	case metrics.Timer:
 		s := m.Snapshot()
-		x.summary(name, s.Percentiles(quantiles), math.NaN(), s.Count())
+		x.writeSummary(name, s.Percentiles(quantiles), math.NaN(), s.Count())
 	}
 }
 
-func (x *exposer) single(name, suffix, kind string, v float64) {
-	n := x.claim(name, suffix, suffix)
+func (x *exposer) writeSingle(name, suffix, kind string, v float64) {
+	n := x.uniqueName(name, suffix, suffix)
 	fmt.Fprintf(&x.out, "# TYPE %s %s\n", n, kind)
-	x.sample(n, x.labels, v)
+	x.writeSample(n, x.labels, v)
 }
 
-// summary writes quantiles, sum and count; a sum that is not known is left
+// writeSummary writes quantiles, sum and count; a sum that is not known is left
 // out.
-func (x *exposer) summary(name string, values []float64, sum float64, count int64) {
-	n := x.claim(name, "", "", "_sum", "_count")
+func (x *exposer) writeSummary(name string, values []float64, sum float64, count int64) {
+	n := x.uniqueName(name, "", "", "_sum", "_count")
 	fmt.Fprintf(&x.out, "# TYPE %s summary\n", n)
 	for i, q := range quantiles {
-		labels := fmt.Sprintf(`quantile="%s"`, number(q))
+		labels := fmt.Sprintf(`quantile="%s"`, formatNumber(q))
 		if x.labels != "" {
 			labels = x.labels + "," + labels
 		}
@@ -95,38 +95,38 @@
 		if count == 0 {
 			v = math.NaN()
 		}
-		x.sample(n, labels, v)
+		x.writeSample(n, labels, v)
 	}
 	if !math.IsNaN(sum) {
-		x.sample(n+"_sum", x.labels, sum)
+		x.writeSample(n+"_sum", x.labels, sum)
 	}
-	x.sample(n+"_count", x.labels, float64(count))
+	x.writeSample(n+"_count", x.labels, float64(count))
 }
 
-func (x *exposer) sample(name, labels string, v float64) {
+func (x *exposer) writeSample(name, labels string, v float64) {
 	if labels != "" {
 		labels = "{" + labels + "}"
 	}
-	fmt.Fprintf(&x.out, "%s%s %s\n", name, labels, number(v))
+	fmt.Fprintf(&x.out, "%s%s %s\n", name, labels, formatNumber(v))
 }
 
-// claim returns a name that is free with each of the suffixes; a number tells
+// uniqueName returns a name that is free with each of the suffixes; a number tells
 // names apart that are equal once sanitised. Scrapers reject a page with two
 // metrics of one name.
-func (x *exposer) claim(name, suffix string, reserve ...string) string {
-	base := prefix + strings.TrimSuffix(sanitise(name), suffix)
+func (x *exposer) uniqueName(name, suffix string, reserve ...string) string {
+	base := prefix + strings.TrimSuffix(sanitiseName(name), suffix)
 	n := base
-	for i := 2; slices.ContainsFunc(reserve, func(s string) bool { return x.taken[n+s] }); i++ {
+	for i := 2; slices.ContainsFunc(reserve, func(s string) bool { return x.usedNames[n+s] }); i++ {
 		n = fmt.Sprintf("%s_%d", base, i)
 	}
 	for _, s := range reserve {
-		x.taken[n+s] = true
+		x.usedNames[n+s] = true
 	}
 	return n + suffix
 }
 
-// sanitise replaces what a metric's name must not contain.
-func sanitise(name string) string {
+// sanitiseName replaces what a metric's name must not contain.
+func sanitiseName(name string) string {
 	return strings.Map(func(r rune) rune {
 		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
 			return r
@@ -137,15 +137,15 @@
 
 var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
-func labelText(labels []Label) string {
+func formatLabels(labels []Label) string {
 	var parts []string
 	for _, l := range labels {
-		parts = append(parts, fmt.Sprintf(`%s="%s"`, sanitise(l.Name), labelEscaper.Replace(l.Value)))
+		parts = append(parts, fmt.Sprintf(`%s="%s"`, sanitiseName(l.Name), labelEscaper.Replace(l.Value)))
 	}
 	return strings.Join(parts, ",")
 }
 
-func number(v float64) string {
+func formatNumber(v float64) string {
 	if v == math.Trunc(v) && math.Abs(v) < 1<<53 {
 		return strconv.FormatInt(int64(v), 10)
 	}
--- a/io/trans/admin/fetch.go
+++ b/io/trans/admin/fetch.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxPage bounds the bytes of one response to Fetch.
-	maxPage = 64 << 20
+	// maxPageBytes bounds the bytes of one response to Fetch.
+	maxPageBytes = 64 << 20
 	// maxPages bounds the requests of one Fetch, so that it ends even when a
 	// process records faster than it answers.
 	maxPages = 128
@@ -46,14 +46,14 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPage+1))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes+1))
 	switch {
 	case err != nil:
 		return nil, err
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
-	case len(data) > maxPage:
-		return nil, fmt.Errorf("response of more than %d bytes", maxPage)
+	case len(data) > maxPageBytes:
+		return nil, fmt.Errorf("response of more than %d bytes", maxPageBytes)
 	}
 	return report.EventsFromJSON(data)
 }
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -16,7 +16,7 @@
 )
 
 // propose hands in a change and prints its result.
-func propose(o *options, p *operator, out io.Writer, c model.Change) error {
+func propose(o *options, p *controlClient, out io.Writer, c model.Change) error {
 	c.Author = o.author
 	if c.Author == "" {
 		c.Author = "operator"
@@ -27,14 +27,14 @@
 	}
 	r, err := p.leader.Propose(p.ctx, c)
 	if err != nil {
-		return failed("change", fmt.Errorf("it may or may not be accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
+		return failedError("change", fmt.Errorf("it may or may not be accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
 	}
 	switch r.Kind {
 	case model.ResultConflict:
-		return failed("change", fmt.Errorf("conflict: %s, changed by %s at version %d; differs in: %s",
+		return failedError("change", fmt.Errorf("conflict: %s, changed by %s at version %d; differs in: %s",
 			r.Reason, r.Winner, r.Version, strings.Join(r.DifferingFields, ", ")))
 	case model.ResultInvalid:
-		return failed("change", errors.New("refused: "+r.Reason))
+		return failedError("change", errors.New("refused: "+r.Reason))
 	}
 	fmt.Fprintf(out, "accepted at version %d\n", r.Version)
 	if r.Reason != "" {
@@ -43,8 +43,8 @@
 	return nil
 }
 
-// baseOf is the version that the operator named, or the one in force.
-func (o *options) baseOf(current model.Version) model.Version {
+// baseVersion is the version that the operator named, or the one in force.
+func (o *options) baseVersion(current model.Version) model.Version {
 	if o.base >= 0 {
 		return model.Version(o.base)
 	}
@@ -52,12 +52,12 @@
 }
 
 func applyContract(o *options, out io.Writer) error {
-	c, err := load(o.file, conf.LoadContract)
+	c, err := loadFile(o.file, conf.LoadContract)
 	if err != nil {
 		return err
 	}
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(contractVersion(v, c.Customer))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(contractVersion(v, c.Customer))
 		return propose(o, p, out, model.Change{Kind: model.ChangeContractApply, Base: base, Contract: c})
 	})
 }
@@ -72,24 +72,24 @@
 }
 
 func showContract(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		if err := report.Contract(out, o.format(), v.Status, model.Customer(o.name)); err != nil {
-			return failed("contract", err)
+			return failedError("contract", err)
 		}
 		return nil
 	})
 }
 
 func listContracts(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		return report.Contracts(out, o.format(), v.Status)
 	})
 }
 
 func removeContract(o *options, out io.Writer) error {
 	name := model.Customer(o.name)
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(contractVersion(v, name))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(contractVersion(v, name))
 		return propose(o, p, out, model.Change{Kind: model.ChangeContractRemove, Base: base, Customer: name})
 	})
 }
@@ -106,7 +106,7 @@
 func declareMaintenance(o *options, out io.Writer) error {
 	deadline, err := parseDeadline(o.deadline, clock.Real().Now())
 	if err != nil {
-		return usage("--deadline", err)
+		return usageError("--deadline", err)
 	}
 	m := model.Maintenance{
 		Name: o.name, Deadline: deadline,
@@ -115,8 +115,8 @@
 			Rack: model.Rack(o.rack), Instance: model.InstanceID(o.instance),
 		},
 	}
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(maintenanceVersion(v, m.Name))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(maintenanceVersion(v, m.Name))
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceDeclare, Base: base, Maintenance: m})
 	})
 }
@@ -141,14 +141,14 @@
 }
 
 func listMaintenance(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		return report.Maintenance(out, o.format(), v.Status)
 	})
 }
 
 func cancelMaintenance(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(maintenanceVersion(v, o.name))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(maintenanceVersion(v, o.name))
 		m := model.Maintenance{Name: o.name}
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceCancel, Base: base, Maintenance: m})
 	})
@@ -157,17 +157,17 @@
 // retireInstance releases an instance for good. Its pool is filled from the
 // spare; the step ends when every entry process of the zone confirmed it.
 func retireInstance(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, i := range v.Status.Instances {
 			if i.ID != model.InstanceID(o.name) {
 				continue
 			}
 			next := i
 			next.Phase, next.Target, next.Reason = model.PhaseReleasing, model.PoolNone, "retired by "+o.author
-			step := model.InstanceStep{Base: o.baseOf(i.Version), Instance: next}
+			step := model.InstanceStep{Base: o.baseVersion(i.Version), Instance: next}
 			return propose(o, p, out, model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{step}})
 		}
-		return failed("retire", fmt.Errorf("no instance %s", o.name))
+		return failedError("retire", fmt.Errorf("no instance %s", o.name))
 	})
 }
 
@@ -175,12 +175,12 @@
 // Only the operator can know that a silent process does not serve a cut-off
 // zone.
 func declareGone(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, m := range v.Entries {
 			if m.Name == model.Process(o.name) {
 				return propose(o, p, out, model.Change{Kind: model.ChangeProcessGone, Process: m.Name})
 			}
 		}
-		return failed("gone", fmt.Errorf("no entry process %s in the settings", o.name))
+		return failedError("gone", fmt.Errorf("no entry process %s in the settings", o.name))
 	})
 }
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -42,9 +42,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-func usage(op string, err error) error { return &Error{Op: op, Kind: KindUsage, Err: err} }
+func usageError(op string, err error) error { return &Error{Op: op, Kind: KindUsage, Err: err} }
 
-func failed(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
+func failedError(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
 
 // options holds the values of all flags and positional arguments.
 type options struct {
@@ -79,7 +79,7 @@
 	p.Description = "fleet capacity and maintenance manager"
 	p.DisableShowVersionWithVersion()
 	p.ShowHelpOnUnexpected = true
-	all := attach(p, o)
+	all := addSubcommands(p, o)
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "camphorridge:", err)
 		return ExitUsage
@@ -106,9 +106,9 @@
 	return ExitFailed
 }
 
-// attach adds all subcommands to the parser. Subcommands of a group come
+// addSubcommands adds all subcommands to the parser. Subcommands of a group come
 // before the group, so that the most exact one runs.
-func attach(p *flaggy.Parser, o *options) []command {
+func addSubcommands(p *flaggy.Parser, o *options) []command {
 	var all []command
 	add := func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand {
 		s := flaggy.NewSubcommand(name)
@@ -132,10 +132,10 @@
 	return all
 }
 
-// adder attaches one subcommand to a parent, or to the program for nil.
-type adder func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand
+// addFunc attaches one subcommand to a parent, or to the program for nil.
+type addFunc func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand
 
-func attachRoles(add adder, o *options) {
+func attachRoles(add addFunc, o *options) {
 	for _, s := range []*flaggy.Subcommand{
 		add(nil, "entry", "run an entry process", runEntry),
 		add(nil, "control", "run a control process", runControl),
@@ -151,7 +151,7 @@
 	})
 }
 
-func attachContract(add adder, o *options) {
+func attachContract(add addFunc, o *options) {
 	group := add(nil, "contract", "apply, show, list or remove contracts", nil)
 	apply := add(group, "apply", "apply the contract in a file", applyContract)
 	apply.AddPositionalValue(&o.file, "file", 1, true, "contract file")
@@ -164,7 +164,7 @@
 	changeFlags(o, apply, remove)
 }
 
-func attachMaintenance(add adder, o *options) {
+func attachMaintenance(add addFunc, o *options) {
 	group := add(nil, "maintenance", "declare, list or cancel maintenance", nil)
 	declare := add(group, "declare", "declare that instances must be maintained by a deadline", declareMaintenance)
 	declare.AddPositionalValue(&o.name, "name", 1, true, "name of the declaration")
@@ -180,7 +180,7 @@
 	changeFlags(o, declare, cancel)
 }
 
-func attachFleet(add adder, o *options) {
+func attachFleet(add addFunc, o *options) {
 	retire := add(nil, "retire", "take an instance out of the fleet for good", retireInstance)
 	retire.AddPositionalValue(&o.name, "instance", 1, true, "name of the instance")
 	gone := add(nil, "gone", "declare that an entry process has ended for good, so that nothing waits for it", declareGone)
@@ -189,7 +189,7 @@
 	changeFlags(o, retire, gone)
 }
 
-func attachJobs(add adder, o *options) {
+func attachJobs(add addFunc, o *options) {
 	group := add(nil, "job", "hand in, look at, list or cancel jobs", nil)
 	submit := add(group, "submit", "hand in the job in a file; to hand it in again is harmless", submitJob)
 	submit.AddPositionalValue(&o.file, "file", 1, true, "job file")
@@ -203,7 +203,7 @@
 	operatorFlags(o, submit, get, cancel, list)
 }
 
-func attachReports(add adder, o *options) {
+func attachReports(add addFunc, o *options) {
 	status := add(nil, "status", "show which process runs which version, and what waits", showStatus)
 	measures := add(nil, "measures", "show roll-out times, moves and the idle buffer", showMeasures)
 	instances := add(nil, "instances", "list the instances", listInstances)
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -12,9 +12,9 @@
 	"camphorridge/io/proto/report"
 )
 
-// work hands a call on jobs to the leader and passes a good answer on.
-func work(o *options, op string, c runner.Call, f func(runner.Answer) error) error {
-	p, err := newOperator(o)
+// callLeader hands a call on jobs to the leader and passes a good answer on.
+func callLeader(o *options, op string, c runner.Call, f func(runner.Answer) error) error {
+	p, err := newControlClient(o)
 	if err != nil {
 		return err
 	}
@@ -22,11 +22,11 @@
 	a, err := p.leader.Work(p.ctx, c)
 	switch {
 	case err != nil:
-		return failed(op, err)
+		return failedError(op, err)
 	case a.Kind == runner.AnswerOutcomeUnknown:
-		return failed(op, fmt.Errorf("it may be done, run the command again: %s", a.Reason))
+		return failedError(op, fmt.Errorf("it may be done, run the command again: %s", a.Reason))
 	case a.Kind != runner.AnswerDone:
-		return failed(op, fmt.Errorf("%s: %s", a.Kind, a.Reason))
+		return failedError(op, fmt.Errorf("%s: %s", a.Kind, a.Reason))
 	}
 	return f(a)
 }
@@ -37,25 +37,25 @@
 }
 
 func submitJob(o *options, out io.Writer) error {
-	j, err := load(o.file, conf.LoadJob)
+	j, err := loadFile(o.file, conf.LoadJob)
 	if err != nil {
 		return err
 	}
-	return work(o, "job submit", runner.Call{Kind: runner.CallSubmit, Queue: j.Queue, JobID: j.ID, Job: j}, printStatus(o, out, j.ID))
+	return callLeader(o, "job submit", runner.Call{Kind: runner.CallSubmit, Queue: j.Queue, JobID: j.ID, Job: j}, printStatus(o, out, j.ID))
 }
 
 func getJob(o *options, out io.Writer) error {
 	id := jobs.ID(o.name)
-	return work(o, "job get", runner.Call{Kind: runner.CallStatus, JobID: id}, printStatus(o, out, id))
+	return callLeader(o, "job get", runner.Call{Kind: runner.CallStatus, JobID: id}, printStatus(o, out, id))
 }
 
 func cancelJob(o *options, out io.Writer) error {
 	id := jobs.ID(o.name)
-	return work(o, "job cancel", runner.Call{Kind: runner.CallCancel, JobID: id}, printStatus(o, out, id))
+	return callLeader(o, "job cancel", runner.Call{Kind: runner.CallCancel, JobID: id}, printStatus(o, out, id))
 }
 
 func listJobs(o *options, out io.Writer) error {
-	return work(o, "job list", runner.Call{Kind: runner.CallList}, func(a runner.Answer) error {
+	return callLeader(o, "job list", runner.Call{Kind: runner.CallList}, func(a runner.Answer) error {
 		lines := a.Jobs
 		if o.queue != "" {
 			lines = slices.DeleteFunc(lines, func(l sched.JobSummary) bool { return l.Queue != jobs.QueueName(o.queue) })
@@ -65,7 +65,7 @@
 }
 
 func explainJob(o *options, out io.Writer) error {
-	return work(o, "explain", runner.Call{Kind: runner.CallExplain, JobID: jobs.ID(o.name)}, func(a runner.Answer) error {
+	return callLeader(o, "explain", runner.Call{Kind: runner.CallExplain, JobID: jobs.ID(o.name)}, func(a runner.Answer) error {
 		return report.Job(out, o.format(), *a.Report)
 	})
 }
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -17,22 +17,22 @@
 	"camphorridge/io/trans/peers"
 )
 
-// callTimeout bounds one command; an election takes a few seconds at most.
-const callTimeout = 15 * time.Second
+// commandTimeout bounds one command; an election takes a few seconds at most.
+const commandTimeout = 15 * time.Second
 
-// stamps keeps the hybrid clock of a command, so that its changes are ordered
+// commandStamps keeps the hybrid clock of a command, so that its changes are ordered
 // after what it read.
-type stamps struct {
+type commandStamps struct {
 	clock  clock.Clock
 	hybrid trail.HybridClock
 }
 
-func (s *stamps) Next() model.Stamp { return s.hybrid.Next(s.clock.Now()) }
+func (s *commandStamps) Next() model.Stamp { return s.hybrid.Next(s.clock.Now()) }
 
-func (s *stamps) Observe(m model.Stamp) { s.hybrid.Observe(m, s.clock.Now()) }
+func (s *commandStamps) Observe(m model.Stamp) { s.hybrid.Observe(m, s.clock.Now()) }
 
-// operator calls the control group for one command.
-type operator struct {
+// controlClient calls the control group for one command.
+type controlClient struct {
 	client *peers.Client
 	leader *peers.Leader
 	clock  clock.Clock
@@ -40,39 +40,39 @@
 	cancel context.CancelFunc
 }
 
-func newOperator(o *options) (*operator, error) {
+func newControlClient(o *options) (*controlClient, error) {
 	if o.control == "" {
-		return nil, usage("--control", errors.New("name the peers addresses of the control processes, or set CAMPHORRIDGE_CONTROL"))
+		return nil, usageError("--control", errors.New("name the peers addresses of the control processes, or set CAMPHORRIDGE_CONTROL"))
 	}
 	var members []model.Member
 	for _, a := range strings.Split(o.control, ",") {
 		a = strings.TrimSpace(a)
 		if _, err := netip.ParseAddrPort(a); err != nil {
-			return nil, usage("--control", fmt.Errorf("%q: want ip:port, by comma", a))
+			return nil, usageError("--control", fmt.Errorf("%q: want ip:port, by comma", a))
 		}
 		members = append(members, model.Member{Address: a})
 	}
 	clk := clock.Real()
-	c := peers.NewClient("operator", &stamps{clock: clk})
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	return &operator{client: c, leader: peers.NewLeader(c, members, clk), clock: clk, ctx: ctx, cancel: cancel}, nil
+	c := peers.NewClient("operator", &commandStamps{clock: clk})
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	return &controlClient{client: c, leader: peers.NewLeader(c, members, clk), clock: clk, ctx: ctx, cancel: cancel}, nil
 }
 
-func (p *operator) close() {
+func (p *controlClient) close() {
 	p.cancel()
 	p.client.Close()
 }
 
-// view asks the leader for its view and passes it on.
-func view(o *options, f func(p *operator, v peers.Overview) error) error {
-	p, err := newOperator(o)
+// withOverview asks the leader for its withOverview and passes it on.
+func withOverview(o *options, f func(p *controlClient, v peers.Overview) error) error {
+	p, err := newControlClient(o)
 	if err != nil {
 		return err
 	}
 	defer p.close()
 	v, err := p.leader.Status(p.ctx)
 	if err != nil {
-		return failed("status", err)
+		return failedError("status", err)
 	}
 	return f(p, v)
 }
@@ -85,9 +85,9 @@
 }
 
 func showStatus(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		if err := report.Overview(out, o.format(), v.Status); err != nil {
-			return failed("status", err)
+			return failedError("status", err)
 		}
 		if o.json {
 			return nil
@@ -104,14 +104,14 @@
 }
 
 func listInstances(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		return report.Instances(out, o.format(), v.Status, model.Selector{})
 	})
 }
 
-// events asks every process for its events; those that do not answer are
+// collectEvents asks every process for its collectEvents; those that do not answer are
 // named on the error output.
-func (p *operator) events(v peers.Overview) []model.Event {
+func (p *controlClient) collectEvents(v peers.Overview) []model.Event {
 	var lists [][]model.Event
 	for _, m := range append(append([]model.Member(nil), v.Controls...), v.Entries...) {
 		ctx, cancel := context.WithTimeout(p.ctx, 2*time.Second)
@@ -130,21 +130,21 @@
 }
 
 func showTimeline(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
-		events := p.events(v)
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		events := p.collectEvents(v)
 		if o.html == "" {
 			return report.Timeline(out, o.format(), events)
 		}
 		f, err := os.Create(o.html)
 		if err != nil {
-			return failed("timeline", err)
+			return failedError("timeline", err)
 		}
 		if err := report.Timeline(f, report.FormatHTML, events); err != nil {
 			_ = f.Close()
-			return failed("timeline", err)
+			return failedError("timeline", err)
 		}
 		if err := f.Close(); err != nil {
-			return failed("timeline", err)
+			return failedError("timeline", err)
 		}
 		fmt.Fprintf(out, "%d events in %s\n", len(events), o.html)
 		return nil
@@ -152,8 +152,8 @@
 }
 
 func showMeasures(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
-		return report.Measures(out, o.format(), trail.Measure(objectsOf(v), p.events(v)))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		return report.Measures(out, o.format(), trail.Measure(currentState(v), p.collectEvents(v)))
 	})
 }
 
@@ -161,8 +161,8 @@
 	if o.kind == "job" {
 		return explainJob(o, out)
 	}
-	return view(o, func(p *operator, v peers.Overview) error {
-		objects, events := objectsOf(v), p.events(v)
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		objects, events := currentState(v), p.collectEvents(v)
 		var x trail.Explanation
 		switch o.kind {
 		case "customer":
@@ -172,19 +172,19 @@
 		case "request":
 			x = trail.ExplainRequest(objects, events, o.name)
 		default:
-			return usage("explain", fmt.Errorf("%q: want customer, instance, request or job", o.kind))
+			return usageError("explain", fmt.Errorf("%q: want customer, instance, request or job", o.kind))
 		}
 		if err := report.Explain(out, o.format(), x); err != nil {
-			return failed("explain", err)
+			return failedError("explain", err)
 		}
 		if !x.Found {
-			return failed("explain", errors.New("nothing is known of "+o.kind+" "+o.name))
+			return failedError("explain", errors.New("nothing is known of "+o.kind+" "+o.name))
 		}
 		return nil
 	})
 }
 
-func objectsOf(v peers.Overview) trail.CurrentState {
+func currentState(v peers.Overview) trail.CurrentState {
 	x := trail.CurrentState{
 		Now:         v.Status.Now,
 		Contracts:   map[model.Customer]model.Contract{},
--- a/io/trans/cmds/roles.go
+++ b/io/trans/cmds/roles.go
@@ -11,37 +11,37 @@
 )
 
 func runEntry(o *options, _ io.Writer) error {
-	cfg, err := load(o.settings, conf.LoadEntry)
+	cfg, err := loadFile(o.settings, conf.LoadEntry)
 	if err != nil {
 		return err
 	}
-	return role("entry", roles.RunEntry(cfg, os.Stderr))
+	return roleError("entry", roles.RunEntry(cfg, os.Stderr))
 }
 
 func runControl(o *options, _ io.Writer) error {
-	cfg, err := load(o.settings, conf.LoadControl)
+	cfg, err := loadFile(o.settings, conf.LoadControl)
 	if err != nil {
 		return err
 	}
-	return role("control", roles.RunControl(cfg, os.Stderr))
+	return roleError("control", roles.RunControl(cfg, os.Stderr))
 }
 
-func role(name string, err error) error {
+func roleError(name string, err error) error {
 	if err == nil {
 		return nil
 	}
-	return failed(name, err)
+	return failedError(name, err)
 }
 
-// load reads a file; a missing name and a wrong file are usage errors.
-func load[T any](file string, f func(string) (T, error)) (T, error) {
+// loadFile reads a file; a missing name and a wrong file are usage errors.
+func loadFile[T any](file string, f func(string) (T, error)) (T, error) {
 	var none T
 	if file == "" {
-		return none, usage("settings", errors.New("name the file"))
+		return none, usageError("settings", errors.New("name the file"))
 	}
 	v, err := f(file)
 	if err != nil {
-		return none, usage("settings", err)
+		return none, usageError("settings", err)
 	}
 	return v, nil
 }
@@ -61,7 +61,7 @@
 		err = fmt.Errorf("%q is no kind of file: want entry, control, contract or job", o.kind)
 	}
 	if err != nil {
-		return usage("check", err)
+		return usageError("check", err)
 	}
 	fmt.Fprintf(out, "%s: valid %s file\n", o.file, o.kind)
 	return nil
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -29,39 +29,39 @@
 // The policies of the product: a wave stops when what it touched fails
 // significantly more than its peers, and slows down by what callers feel.
 type (
-	disk       = store.Store[codec.Codec, store.OSFileSystem]
-	moverDuty  = mover.Mover[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
-	moverParts = mover.Config[*seat, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
-	keeperDuty = boot.MembershipManager[*peers.Client, *seat]
+	diskStore         = store.Store[codec.Codec, store.OSFileSystem]
+	fleetMover        = mover.Mover[*groupMember, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	fleetMoverConfig  = mover.Config[*groupMember, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	membershipManager = boot.MembershipManager[*peers.Client, *groupMember]
 )
 
 // Pressure in permille at which waves slow down and halt, and the score at
 // which a wave stops.
 const (
-	slowPermille = 60
-	haltPermille = 200
-	stopScore    = 4
-	stopLeast    = 3
+	slowPressurePermille = 60
+	haltPressurePermille = 200
+	waveStopZ            = 4
+	waveStopMinFailures  = 3
 )
 
 // Control is a running control process.
 type Control struct {
-	cfg      conf.Control
-	clock    clock.Clock
-	log      *log.Logger
-	recorder *record.Recorder
-	client   *peers.Client
-	senders  *peers.Senders
-	disk     *disk
-	member   *seat
-	mover    *moverDuty
-	keeper   *keeperDuty
-	// work is nil in a process that runs no jobs.
-	work *JobsRunner
-	// commits takes the time of each commit of the runner.
-	commits metrics.Histogram
-	// logLines counts the lines of the log that were dropped.
-	logLines func() int64
+	cfg        conf.Control
+	clock      clock.Clock
+	log        *log.Logger
+	recorder   *record.Recorder
+	client     *peers.Client
+	senders    *peers.Senders
+	disk       *diskStore
+	member     *groupMember
+	mover      *fleetMover
+	membership *membershipManager
+	// jobs is nil in a process that runs no jobs.
+	jobs *JobsRunner
+	// commitMillis takes the time of each commit of the runner.
+	commitMillis metrics.Histogram
+	// droppedLogLines counts the lines of the log that were dropped.
+	droppedLogLines func() int64
 }
 
 // RunControl runs a control process until a signal stops it.
@@ -84,7 +84,7 @@
 	}
 	var g run.Group
 	addSignals(&g, lg)
-	c.logLines = async.Dropped
+	c.droppedLogLines = async.Dropped
 	if err := c.serveJobs(&g, o); err != nil {
 		return err
 	}
@@ -114,13 +114,13 @@
 	if err != nil {
 		return nil, &Error{Op: "open the data folder", Kind: KindStore, Err: err}
 	}
-	c := &Control{cfg: cfg, clock: clk, log: lg, disk: d, commits: admin.NewHistogram(), logLines: func() int64 { return 0 }}
+	c := &Control{cfg: cfg, clock: clk, log: lg, disk: d, commitMillis: admin.NewHistogram(), droppedLogLines: func() int64 { return 0 }}
 	c.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
-	c.member = newSeat(hello, c.senders)
-	c.keeper = boot.NewMembershipManager(boot.Config[*peers.Client, *seat]{
+	c.member = newGroupMember(hello, c.senders)
+	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *groupMember]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
 		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
@@ -130,20 +130,20 @@
 			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which was not heard", id)})
 		},
 	})
-	board := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPermille, HaltPermille: haltPermille},
-		maint.ZTest{Z: stopScore, MinFailures: stopLeast}, waveSettings(cfg.Maintenance))
-	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.MaxExchangeMoves}, cfg.RepairAfterMillis, surges(cfg))
-	c.mover = mover.New(moverParts{
+	waves := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPressurePermille, HaltPermille: haltPressurePermille},
+		maint.ZTest{Z: waveStopZ, MinFailures: waveStopMinFailures}, waveSettings(cfg.Maintenance))
+	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.MaxExchangeMoves}, cfg.RepairAfterMillis, newSurgePlanner(cfg))
+	c.mover = mover.New(fleetMoverConfig{
 		Name: string(cfg.Name), Entries: cfg.Entries, Group: c.member, Platform: newPlatform(cfg.Platforms),
-		Waves: board, Capacity: capacity, Clock: clk, Events: c.record,
+		Waves: waves, Capacity: capacity, Clock: clk, Events: c.record,
 	})
 	return c, nil
 }
 
 func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
-// surges prefers what the operator gives the most weight to.
-func surges(cfg conf.Control) *mover.SurgePlanner[plan.Cheapest] {
+// newSurgePlanner prefers what the operator gives the most weight to.
+func newSurgePlanner(cfg conf.Control) *mover.SurgePlanner[plan.Cheapest] {
 	w := plan.RolloutFirst()
 	if cfg.SurgePreference == "buffer-cost" {
 		w = plan.BufferFirst()
@@ -173,36 +173,36 @@
 	if err != nil {
 		return err
 	}
-	adm, err := admin.New(c.admin())
+	adm, err := admin.New(c.adminConfig())
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
-	server := &peers.ControlServer[*seat, *moverDuty]{
+	server := &peers.ControlServer[*groupMember, *fleetMover]{
 		Self: memberOf(c.cfg.Controls, c.cfg.Name), Controls: c.cfg.Controls, Entries: c.cfg.Entries,
-		Group: c.member, Mover: c.mover, Check: newChecker(c.cfg, c.clock).check,
+		Group: c.member, Mover: c.mover, Check: newContractChecker(c.cfg, c.clock).check,
 		Stamps: c.recorder, Clock: c.clock, Record: c.record,
 	}
 	timeline := peers.TimelineServer{Events: func(since uint64) ([]model.Event, int64) {
 		return c.recorder.Events(since), c.recorder.Counts().Dropped
 	}}
-	consensusServer := &peers.ConsensusServer[*seat]{Group: c.member, Stamps: c.recorder}
+	consensusServer := &peers.ConsensusServer[*groupMember]{Group: c.member, Stamps: c.recorder}
 	// Without entry processes that report there is nothing to move.
 	if len(c.cfg.Entries) > 0 {
-		add(g, c.mover)
+		addComponent(g, c.mover)
 	}
-	add(g, c.keeper)
-	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), timeline), peerStop)
-	add(g, newFormation(c))
-	add(g, adm)
-	add(g, c.recorder)
+	addComponent(g, c.membership)
+	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), timeline), peerStopTimeout)
+	addComponent(g, newConsensusRunner(c))
+	addComponent(g, adm)
+	addComponent(g, c.recorder)
 	return nil
 }
 
-func (c *Control) admin() admin.Config {
+func (c *Control) adminConfig() admin.Config {
 	return admin.Config{
 		Address: c.cfg.Listen.Admin,
 		Labels:  []admin.Label{{Name: "process", Value: string(c.cfg.Name)}, {Name: "zone", Value: string(c.cfg.Zone)}},
-		Ready:   c.notReady, Events: c.recorder.Page, StopMillis: peerStop, Registry: c.metrics(),
+		Ready:   c.notReady, Events: c.recorder.Page, StopMillis: peerStopTimeout, Registry: c.newMetrics(),
 	}
 }
 
@@ -214,22 +214,22 @@
 	return ""
 }
 
-func (c *Control) metrics() metrics.Registry {
+func (c *Control) newMetrics() metrics.Registry {
 	r := metrics.NewRegistry()
-	counters(r, []counter{
+	registerCounters(r, []counter{
 		{"messages-dropped", c.senders.Dropped},
 		{"reports-refused", c.mover.Refused},
 		{"events-dropped", func() int64 { return c.recorder.Counts().Dropped }},
 	})
-	counters(r, usage(c.client.Traffic))
-	counters(r, []counter{{"log-lines-dropped", c.logLines}})
+	registerCounters(r, processCounters(c.client.Traffic))
+	registerCounters(r, []counter{{"log-lines-dropped", c.droppedLogLines}})
 	c.jobMetrics(r)
 	_ = admin.RegisterGauge(r, "term", func() int64 { return int64(c.member.Status().Term) })
-	_ = admin.RegisterGauge(r, "commit-index", func() int64 { return int64(c.member.ask(context.Background()).Commit) })
+	_ = admin.RegisterGauge(r, "commit-index", func() int64 { return int64(c.member.queryStatus(context.Background()).Commit) })
 	consensusCount := func(f func(group.Counts) int64) func() int64 {
-		return func() int64 { return f(c.member.ask(context.Background()).Counts) }
+		return func() int64 { return f(c.member.queryStatus(context.Background()).Counts) }
 	}
-	counters(r, []counter{
+	registerCounters(r, []counter{
 		{"proposals", consensusCount(func(n group.Counts) int64 { return n.Proposals })},
 		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.LogWrites })},
 		{"log-write-failures", consensusCount(func(n group.Counts) int64 { return n.DiskFailures })},
--- a/io/trans/roles/counters.go
+++ b/io/trans/roles/counters.go
@@ -8,15 +8,15 @@
 
 // counter is a counter that a part keeps by itself.
 type counter struct {
-	name string
-	read func() int64
+	name  string
+	value func() int64
 }
 
-// counters registers counters. Their names are constants of this package, so
+// registerCounters registers registerCounters. Their names are constants of this package, so
 // a clash is a programming error that the first scrape of a test shows.
-func counters(r metrics.Registry, all []counter) {
+func registerCounters(r metrics.Registry, all []counter) {
 	for _, c := range all {
-		if err := admin.RegisterCounter(r, c.name, c.read); err != nil {
+		if err := admin.RegisterCounter(r, c.name, c.value); err != nil {
 			panic(err)
 		}
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -31,17 +31,17 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// eventRing holds the dispatcher's events on their way to the recorder.
-const eventRing = 1024
+// eventRingCapacity holds the dispatcher's events on their way to the recorder.
+const eventRingCapacity = 1024
 
-// orderRing holds the messages about loans on their way out; there are at most
+// loanMessageRingCapacity holds the messages about loans on their way out; there are at most
 // two for each entry process.
-const orderRing = 1024
+const loanMessageRingCapacity = 1024
 
-// lameDuck is the time between the first sign of a stop, a failing readiness
+// lameDuckTime is the time between the first sign of a stop, a failing readiness
 // check and responses with "Connection: close", and the close of the listener.
 // The balancer and callers with open connections go elsewhere meanwhile.
-const lameDuck = clock.Second
+const lameDuckTime = clock.Second
 
 // dispatcher is the dispatcher with the policies of the product.
 type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
@@ -60,8 +60,8 @@
 	claimer  *claim.Claimer[*peers.Leader]
 	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
 	link     *uplink.Client
-	timed    *timed
-	front    *front.Handler[*timed, *claim.Claimer[*peers.Leader]]
+	timed    *timedDispatcher
+	front    *front.Handler[*timedDispatcher, *claim.Claimer[*peers.Leader]]
 	events   *ring.Ring[model.Event]
 	leaving  atomic.Bool
 }
@@ -90,15 +90,15 @@
 
 func newEntry(cfg conf.Entry, lg *log.Logger) *Entry {
 	clk := clock.Real()
-	e := &Entry{cfg: cfg, clock: clk, log: lg, events: ring.New[model.Event](eventRing)}
+	e := &Entry{cfg: cfg, clock: clk, log: lg, events: ring.New[model.Event](eventRingCapacity)}
 	e.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	e.client = peers.NewClient(cfg.Name, e.recorder)
 	leader := peers.NewLeader(e.client, cfg.Controls, clk)
 	incarnation := uint64(clk.Now())
-	orders := ring.New[lend.Message](orderRing)
+	loanMessages := ring.New[lend.Message](loanMessageRingCapacity)
 	e.dispatch = entry.New(entry.Settings{
 		Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries,
-		RingSize: cfg.Limits.QueueRingSize, Lease: cfg.Limits.LeaseMillis, Events: e.events, LoanMessages: orders,
+		RingSize: cfg.Limits.QueueRingSize, Lease: cfg.Limits.LeaseMillis, Events: e.events, LoanMessages: loanMessages,
 		Lending: lend.Settings{
 			Self: cfg.Name, Zone: cfg.Zone, Entries: cfg.Entries, Incarnation: incarnation,
 			Lease: cfg.Lending.LeaseMillis, MaxRequestTime: cfg.Limits.MaxTimeoutMillis,
@@ -106,13 +106,13 @@
 		},
 	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	self := memberOf(cfg.Entries, cfg.Name)
-	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.offer, clk)
+	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.applyDelta, clk)
 	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.LoadReport, e.dispatch.Demand, clk)
 	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, incarnation, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
-	e.lender = lender.New(orders, cfg.Entries, e.client, e.dispatch, e.link, clk)
-	e.timed = newTimed(e.dispatch, clk)
+	e.lender = lender.New(loanMessages, cfg.Entries, e.client, e.dispatch, e.link, clk)
+	e.timed = newTimedDispatcher(e.dispatch, clk)
 	e.front = front.New(frontSettings(cfg), clk, e.timed, e.claimer, e.link)
 	return e
 }
@@ -136,8 +136,8 @@
 	return s
 }
 
-// offer puts a delta in force and adds the new version to the time line.
-func (e *Entry) offer(d model.Delta) error {
+// applyDelta puts a delta in force and adds the new version to the time line.
+func (e *Entry) applyDelta(d model.Delta) error {
 	if err := e.dispatch.ApplyDelta(d); err != nil {
 		return err
 	}
@@ -189,44 +189,44 @@
 	if err != nil {
 		return err
 	}
-	adm, err := admin.New(e.admin())
+	adm, err := admin.New(e.adminConfig())
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	e.addCallers(g, callers)
-	addServer(g, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce), peerStop)
-	add(g, e.poller)
-	add(g, e.reporter)
-	add(g, e.roster)
-	add(g, e.claimer)
-	add(g, e.lender)
-	add(g, e.link)
-	add(g, e.dispatch)
-	add(g, newForwarder(e.events, e.record))
-	addServer(g, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbour(), nil, e.timeline()), peerStop)
-	add(g, adm)
-	add(g, e.recorder)
+	addServer(g, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce), peerStopTimeout)
+	addComponent(g, e.poller)
+	addComponent(g, e.reporter)
+	addComponent(g, e.roster)
+	addComponent(g, e.claimer)
+	addComponent(g, e.lender)
+	addComponent(g, e.link)
+	addComponent(g, e.dispatch)
+	addComponent(g, newEventForwarder(e.events, e.record))
+	addServer(g, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbourServer(), nil, e.timelineServer()), peerStopTimeout)
+	addComponent(g, adm)
+	addComponent(g, e.recorder)
 	return nil
 }
 
-// peerStop bounds the stop of the servers for other processes.
-const peerStop = 2 * clock.Second
+// peerStopTimeout bounds the stop of the servers for other processes.
+const peerStopTimeout = 2 * clock.Second
 
 func (e *Entry) addCallers(g *run.Group, l net.Listener) {
-	s := front.NewServer(e.closing(e.front), e.cfg.Limits.MaxHeaderBytes)
+	s := front.NewServer(e.closeWhenLeaving(e.front), e.cfg.Limits.MaxHeaderBytes)
 	g.Add(func() error { return s.Serve(l) }, func(error) {
 		e.record(model.Event{Kind: model.EventStop})
 		e.leaving.Store(true)
-		<-e.clock.After(lameDuck)
+		<-e.clock.After(lameDuckTime)
 		if err := s.Shutdown(e.cfg.Limits.DrainMillis); err != nil {
 			e.log.Error("requests were cut off", "err", err)
 		}
 	})
 }
 
-// closing tells callers to open new connections elsewhere once the process is
+// closeWhenLeaving tells callers to open new connections elsewhere once the process is
 // stopping.
-func (e *Entry) closing(next http.Handler) http.Handler {
+func (e *Entry) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.leaving.Load() {
 			w.Header().Set("Connection", "close")
@@ -235,7 +235,7 @@
 	})
 }
 
-func (e *Entry) neighbour() *peers.NeighbourServer {
+func (e *Entry) neighbourServer() *peers.NeighbourServer {
 	return &peers.NeighbourServer{
 		TableAfter: e.tableAfter,
 		Hear: func(a model.Announcement) {
@@ -248,7 +248,7 @@
 	}
 }
 
-func (e *Entry) timeline() peers.TimelineServer {
+func (e *Entry) timelineServer() peers.TimelineServer {
 	return peers.TimelineServer{Events: func(since uint64) ([]model.Event, int64) {
 		return e.recorder.Events(since), e.recorder.Counts().Dropped
 	}}
@@ -266,11 +266,11 @@
 	return ""
 }
 
-func (e *Entry) admin() admin.Config {
+func (e *Entry) adminConfig() admin.Config {
 	return admin.Config{
 		Address: e.cfg.Listen.Admin,
 		Labels:  []admin.Label{{Name: "process", Value: string(e.cfg.Name)}, {Name: "zone", Value: string(e.cfg.Zone)}},
-		Ready:   e.notReady, Events: e.recorder.Page, StopMillis: peerStop, Registry: e.metrics(),
+		Ready:   e.notReady, Events: e.recorder.Page, StopMillis: peerStopTimeout, Registry: e.newMetrics(),
 	}
 }
 
@@ -281,10 +281,10 @@
 	logs.Event(e.log, ev)
 }
 
-// metrics registers the counters that the parts keep.
-func (e *Entry) metrics() metrics.Registry {
+// newMetrics registers the counters that the parts keep.
+func (e *Entry) newMetrics() metrics.Registry {
 	r := metrics.NewRegistry()
-	counters(r, []counter{
+	registerCounters(r, []counter{
 		{"requests-ran", func() int64 { return e.front.Counts().Ran }},
 		{"requests-not-run", func() int64 { return e.front.Counts().NotRun }},
 		{"requests-unknown", func() int64 { return e.front.Counts().Unknown }},
@@ -312,11 +312,11 @@
 		{"announcements-not-forwarded", e.roster.Refused},
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
-	counters(r, usage(e.client.Traffic))
+	registerCounters(r, processCounters(e.client.Traffic))
 	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
 	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
-	_ = r.Register("request-wait-ms", e.timed.wait)
-	_ = r.Register("request-elapsed-ms", e.timed.elapsed)
+	_ = r.Register("request-wait-ms", e.timed.waitMillis)
+	_ = r.Register("request-elapsed-ms", e.timed.elapsedMillis)
 	_ = admin.RegisterGauge(r, "table-version", func() int64 { return int64(e.poller.Version()) })
 	return r
 }
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/form.go
@@ -13,29 +13,31 @@
 	"camphorridge/io/proto/codec"
 )
 
-// consensus is the consensus duty with the product's storage and codec.
-type consensus = group.Group[*disk, codec.Codec]
+// consensusGroup is the consensusGroup duty with the product's storage and codec.
+type consensusGroup = group.Group[*diskStore, codec.Codec]
 
 // Sizes of consensus messages, and the entries kept in memory behind a
 // snapshot for members that lag a little.
 const (
-	maxAppendBytes = 512 << 10
-	chunkBytes     = 256 << 10
-	keepEntries    = 1000
+	maxAppendBytes     = 512 << 10
+	snapshotChunkBytes = 256 << 10
+	keptEntries        = 1000
 )
 
-// formation is the duty that forms or joins the group and then runs the
+// consensusRunner is the duty that forms or joins the group and then runs the
 // consensus duty.
-type formation struct {
-	c    *Control
-	done chan struct{}
+type consensusRunner struct {
+	control *Control
+	done    chan struct{}
 }
 
-func newFormation(c *Control) *formation { return &formation{c: c, done: make(chan struct{})} }
+func newConsensusRunner(c *Control) *consensusRunner {
+	return &consensusRunner{control: c, done: make(chan struct{})}
+}
 
 // Run forms or joins the group and drives consensus until Stop.
-func (f *formation) Run() error {
-	c := f.c
+func (f *consensusRunner) Run() error {
+	c := f.control
 	stored := c.disk.Stored()
 	if !initialised(stored) {
 		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
@@ -43,7 +45,7 @@
 		case boot.PlanRetry:
 			return nil
 		case boot.PlanForm:
-			if err := f.form(&stored, members); err != nil {
+			if err := f.formGroup(&stored, members); err != nil {
 				return err
 			}
 		case boot.PlanJoin:
@@ -53,19 +55,19 @@
 		}
 	}
 	c.senders.Members(stored.Snapshot.Members)
-	d, err := group.New(f.config(), stored, c.disk, codec.Codec{}, c.clock)
+	d, err := group.New(f.groupConfig(), stored, c.disk, codec.Codec{}, c.clock)
 	if err != nil {
 		return &Error{Op: "start consensus", Kind: KindStore, Err: err}
 	}
-	c.member.set(d)
-	return f.drive(d)
+	c.member.setConsensus(d)
+	return f.runConsensus(d)
 }
 
-// drive runs the duty until Stop.
-func (f *formation) drive(d *consensus) error {
+// runConsensus runs the duty until Stop.
+func (f *consensusRunner) runConsensus(d *consensusGroup) error {
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run() }()
-	defer f.c.senders.Stop()
+	defer f.control.senders.Stop()
 	select {
 	case err := <-ended:
 		return err
@@ -76,65 +78,65 @@
 }
 
 // Stop ends Run.
-func (f *formation) Stop() { close(f.done) }
+func (f *consensusRunner) Stop() { close(f.done) }
 
-// firstIndex is the index of the snapshot that every member of a new group
+// initialIndex is the index of the snapshot that every member of a new group
 // writes by itself: the empty state and the first member list.
-const firstIndex = 1
+const initialIndex = 1
 
-// form writes the first snapshot. The term starts at that of the snapshot, so
+// formGroup writes the first snapshot. The term starts at that of the snapshot, so
 // that the first leader's term is above it.
-func (f *formation) form(stored *raft.StoredState, members []raft.Member) error {
-	stored.Snapshot = raft.SnapshotMeta{Index: firstIndex, Term: firstIndex, Members: members}
-	stored.Hard = raft.HardState{Term: firstIndex, Commit: firstIndex}
+func (f *consensusRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
+	stored.Snapshot = raft.SnapshotMeta{Index: initialIndex, Term: initialIndex, Members: members}
+	stored.Hard = raft.HardState{Term: initialIndex, Commit: initialIndex}
 	s := fleet.New()
-	s.Index = firstIndex
-	err := f.c.disk.Install(stored.Snapshot, codec.Codec{}.EncodeState(s))
+	s.Index = initialIndex
+	err := f.control.disk.Install(stored.Snapshot, codec.Codec{}.EncodeState(s))
 	if err == nil {
-		err = f.c.disk.Save(&stored.Hard, nil)
+		err = f.control.disk.Save(&stored.Hard, nil)
 	}
 	if err != nil {
 		return &Error{Op: "form the group", Kind: KindStore, Err: err}
 	}
-	f.c.record(model.Event{Kind: model.EventRole, Detail: "formed the group"})
+	f.control.record(model.Event{Kind: model.EventRole, Detail: "formed the group"})
 	return nil
 }
 
 // Sizes of the consensus duty.
 const (
-	consensusTick clock.Millis = 50
-	consensusRing              = 4096
-	maxWaiting                 = 4096
-	diskRetry     clock.Millis = 500
+	consensusTickInterval clock.Millis = 50
+	consensusRingCapacity              = 4096
+	maxPendingProposals                = 4096
+	diskRetryDelay        clock.Millis = 500
 )
 
-func (f *formation) config() group.Config {
-	c := f.c.cfg.Consensus
+func (f *consensusRunner) groupConfig() group.Config {
+	c := f.control.cfg.Consensus
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(f.c.cfg.Name))
+	_, _ = h.Write([]byte(f.control.cfg.Name))
 	return group.Config{
 		Raft: raft.Config{
 			ElectionTimeout: c.ElectionMillis, HeartbeatInterval: c.HeartbeatMillis,
-			MaxAppendBytes: maxAppendBytes, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
-			Seed: h.Sum64() + uint64(f.c.clock.Now()),
+			MaxAppendBytes: maxAppendBytes, ChunkBytes: snapshotChunkBytes, KeepEntries: keptEntries,
+			Seed: h.Sum64() + uint64(f.control.clock.Now()),
 		},
-		TickInterval: consensusTick, RingCapacity: consensusRing, MaxPending: maxWaiting,
-		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetry,
-		Send: f.c.senders.Send, Observe: f.observe,
+		TickInterval: consensusTickInterval, RingCapacity: consensusRingCapacity, MaxPending: maxPendingProposals,
+		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetryDelay,
+		Send: f.control.senders.Send, Observe: f.observe,
 	}
 }
 
 // observe adds changes of role and disk to the time line. The duty calls it.
-func (f *formation) observe(s group.Status) {
-	before := f.c.member.last.Load()
-	f.c.member.observe(s)
+func (f *consensusRunner) observe(s group.Status) {
+	before := f.control.member.lastStatus.Load()
+	f.control.member.updateStatus(s)
 	if before == nil || before.Role != s.Role || before.Term != s.Term {
-		f.c.record(model.Event{
+		f.control.record(model.Event{
 			Kind: model.EventRole, Version: model.Version(s.Term),
 			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
 		})
 	}
 	if s.DiskError != "" && (before == nil || before.DiskError == "") {
-		f.c.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
+		f.control.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
 	}
 }
--- a/io/trans/roles/forward.go
+++ b/io/trans/roles/forward.go
@@ -6,19 +6,19 @@
 	"camphorridge/core/state/ring"
 )
 
-// forwarder is the duty that passes events from a ring on to the recorder.
-type forwarder struct {
+// eventForwarder is the duty that passes events from a ring on to the recorder.
+type eventForwarder struct {
 	in     *ring.Ring[model.Event]
 	record func(model.Event)
 	done   chan struct{}
 }
 
-func newForwarder(in *ring.Ring[model.Event], record func(model.Event)) *forwarder {
-	return &forwarder{in: in, record: record, done: make(chan struct{})}
+func newEventForwarder(in *ring.Ring[model.Event], record func(model.Event)) *eventForwarder {
+	return &eventForwarder{in: in, record: record, done: make(chan struct{})}
 }
 
 // Run passes events on until Stop.
-func (f *forwarder) Run() error {
+func (f *eventForwarder) Run() error {
 	for {
 		select {
 		case e := <-f.in.C():
@@ -30,7 +30,7 @@
 }
 
 // Stop ends Run.
-func (f *forwarder) Stop() { close(f.done) }
+func (f *eventForwarder) Stop() { close(f.done) }
 
 func fullDelta(t model.Table) model.Delta {
 	return fleet.FullDelta(t.Version, t.Contracts, t.Instances)
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -17,12 +17,12 @@
 	"camphorridge/io/trans/peers"
 )
 
-// asideEvidence is the evidence from which a worker is set aside: the log of
+// minQuarantineScore is the evidence from which a worker is set aside: the log of
 // how much likelier a broken worker explains its failures.
-const asideEvidence = 3
+const minQuarantineScore = 3
 
 // JobsRunner is the runner with the policies of the product.
-type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
+type JobsRunner = runner.Runner[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
 // JobsOptions says how a control process runs jobs.
 type JobsOptions struct {
@@ -65,16 +65,16 @@
 	if err != nil {
 		return err
 	}
-	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
+	c.jobs = runner.New(runner.Config[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Rank: sched.EarliestDeadline{},
-		Health: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
-		ObserveCommit: func(d clock.Millis) { c.commits.Update(int64(d)) },
+		Health: place.PeerComparison{MinScore: minQuarantineScore}, Settings: o.Settings, Clock: c.clock, Notes: c.logDecisions,
+		ObserveCommit: func(d clock.Millis) { c.commitMillis.Update(int64(d)) },
 	})
-	c.member.changed = c.work.Wake
-	service := JobsService{Runner: c.work, Leader: c.knownLeader, Log: c.log}
-	addServer(g, l, o.Handler(service), peerStop)
-	add(g, c.work)
-	add(g, newReloader(o.Reload, c.cfg.Controls, c.keeper.Configure, c.clock, c.log))
+	c.member.onStatus = c.jobs.Wake
+	service := JobsService{Runner: c.jobs, Leader: c.knownLeader, Log: c.log}
+	addServer(g, l, o.Handler(service), peerStopTimeout)
+	addComponent(g, c.jobs)
+	addComponent(g, newReloader(o.Reload, c.cfg.Controls, c.membership.Configure, c.clock, c.log))
 	return nil
 }
 
@@ -86,12 +86,12 @@
 
 // jobMetrics registers what the runner counts.
 func (c *Control) jobMetrics(r metrics.Registry) {
-	if c.work == nil {
+	if c.jobs == nil {
 		return
 	}
-	_ = r.Register("job-commit-ms", c.commits)
-	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.work.Counts()) } }
-	counters(r, []counter{
+	_ = r.Register("job-commit-ms", c.commitMillis)
+	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.jobs.Counts()) } }
+	registerCounters(r, []counter{
 		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
 		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
@@ -101,21 +101,21 @@
 		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
 		{"runs-lost", count(func(n runner.Counts) int64 { return n.RunsLost })},
 		{"runs-failed", count(func(n runner.Counts) int64 { return n.RunsFailed })},
-		{"job-inputs-refused", c.work.Refused},
+		{"job-inputs-refused", c.jobs.Refused},
 	})
 }
 
 // workServer serves submitters' calls; nil in a process that runs no jobs.
-func (c *Control) workServer(s *peers.ControlServer[*seat, *moverDuty]) wirepb.Work {
-	if c.work == nil {
+func (c *Control) workServer(s *peers.ControlServer[*groupMember, *fleetMover]) wirepb.Work {
+	if c.jobs == nil {
 		return nil
 	}
-	return peers.WorkServer[*JobsRunner]{Worker: c.work, Stamps: c.recorder, Leader: s.Leader}
+	return peers.WorkServer[*JobsRunner]{Worker: c.jobs, Stamps: c.recorder, Leader: s.Leader}
 }
 
-// logNotes writes a line for each decision that changes what the process
+// logDecisions writes a line for each decision that changes what the process
 // believes of a run or a worker; starts are counted only.
-func (c *Control) logNotes(all []sched.Note) {
+func (c *Control) logDecisions(all []sched.Note) {
 	for _, n := range all {
 		level := log.InfoLevel
 		if n.Important {
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -23,7 +23,7 @@
 	assert.NilError(t, err)
 	c := &Control{log: l}
 	task := jobs.TaskID{Job: "j-1", Occurrence: 1, Step: 2, Index: 3}
-	c.logNotes([]sched.Note{
+	c.logDecisions([]sched.Note{
 		{Decision: sched.DecisionAccepted, Task: jobs.TaskID{Job: "j-1"}, Reason: "queue q at version 3"},
 		{Decision: sched.DecisionStarted, Task: task, Run: 1, Worker: "w-1"},
 		{Decision: sched.DecisionEnded, Task: task, Run: 1, Worker: "w-1", Reason: "lost: the worker's\nlease ended"},
--- a/io/trans/roles/reload.go
+++ b/io/trans/roles/reload.go
@@ -22,15 +22,15 @@
 	// load reads the control processes from the settings.
 	load func() ([]model.Member, error)
 	// apply takes them into use; it must not wait.
-	apply func([]model.Member)
-	last  []model.Member
-	clock clock.Clock
-	log   *log.Logger
-	done  chan struct{}
+	apply   func([]model.Member)
+	applied []model.Member
+	clock   clock.Clock
+	log     *log.Logger
+	done    chan struct{}
 }
 
 func newReloader(load func() ([]model.Member, error), first []model.Member, apply func([]model.Member), c clock.Clock, lg *log.Logger) *reloader {
-	return &reloader{load: load, apply: apply, last: first, clock: c, log: lg, done: make(chan struct{})}
+	return &reloader{load: load, apply: apply, applied: first, clock: c, log: lg, done: make(chan struct{})}
 }
 
 // Run looks at the settings until Stop.
@@ -63,10 +63,10 @@
 		r.log.Warn("settings-refused", "why", why, "err", err)
 		return
 	}
-	if slices.Equal(all, r.last) {
+	if slices.Equal(all, r.applied) {
 		return
 	}
-	r.last = all
+	r.applied = all
 	r.apply(all)
 	r.log.Info("settings-reloaded", "why", why, "controls", len(all))
 }
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -51,9 +51,9 @@
 	Stop()
 }
 
-// add adds a duty to the group. Parts are interrupted in the order in which
+// addComponent adds a duty to the group. Parts are interrupted in the order in which
 // they were added, so that those that serve requests go first.
-func add(g *run.Group, d Component) {
+func addComponent(g *run.Group, d Component) {
 	g.Add(d.Run, func(error) { d.Stop() })
 }
 
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/seat.go
@@ -19,49 +19,51 @@
 // statusTimeout bounds a question to the consensus duty.
 const statusTimeout = clock.Second
 
-// seat is the consensus duty as the servers and the mover see it. Until the
+// groupMember is the consensus duty as the servers and the mover see it. Until the
 // group is formed it answers who this process is and refuses everything else.
-type seat struct {
+type groupMember struct {
 	self    boot.Hello
 	senders *peers.Senders
-	// last is the duty's latest report; nil before the first.
-	last atomic.Pointer[group.Status]
-	// changed, when set, is called after each report; it must not wait.
-	changed func()
-	mu      sync.Mutex
-	duty    *consensus
+	// lastStatus is the duty's latest report; nil before the first.
+	lastStatus atomic.Pointer[group.Status]
+	// onStatus, when set, is called after each report; it must not wait.
+	onStatus  func()
+	mu        sync.Mutex
+	consensus *consensusGroup
 }
 
-func newSeat(self boot.Hello, s *peers.Senders) *seat { return &seat{self: self, senders: s} }
+func newGroupMember(self boot.Hello, s *peers.Senders) *groupMember {
+	return &groupMember{self: self, senders: s}
+}
 
-func (m *seat) set(d *consensus) {
+func (m *groupMember) setConsensus(d *consensusGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.duty = d
+	m.consensus = d
 }
 
-func (m *seat) get() (*consensus, error) {
+func (m *groupMember) getConsensus() (*consensusGroup, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.duty == nil {
+	if m.consensus == nil {
 		return nil, &Error{Op: "consensus", Kind: KindServe, Err: fmt.Errorf("the group is not formed yet")}
 	}
-	return m.duty, nil
+	return m.consensus, nil
 }
 
-// observe takes a report of the duty, which calls it after each change of
+// updateStatus takes a report of the duty, which calls it after each change of
 // role, term or leader.
-func (m *seat) observe(s group.Status) {
-	m.last.Store(&s)
+func (m *groupMember) updateStatus(s group.Status) {
+	m.lastStatus.Store(&s)
 	m.senders.Members(s.Members)
-	if m.changed != nil {
-		m.changed()
+	if m.onStatus != nil {
+		m.onStatus()
 	}
 }
 
-// ask asks the duty for a report; the zero report stands for no answer.
-func (m *seat) ask(ctx context.Context) group.Status {
-	d, err := m.get()
+// queryStatus asks the duty for a report; the zero report stands for no answer.
+func (m *groupMember) queryStatus(ctx context.Context) group.Status {
+	d, err := m.getConsensus()
 	if err != nil {
 		return group.Status{}
 	}
@@ -71,13 +73,13 @@
 	if err != nil {
 		return group.Status{}
 	}
-	m.observe(s)
+	m.updateStatus(s)
 	return s
 }
 
 // Refresh makes the members' addresses known to the senders.
-func (m *seat) Refresh(ctx context.Context) boot.View {
-	s := m.ask(ctx)
+func (m *groupMember) Refresh(ctx context.Context) boot.View {
+	s := m.queryStatus(ctx)
 	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
 	for _, p := range s.Peers {
 		if !p.RecentlyActive {
@@ -88,8 +90,8 @@
 }
 
 // Remove removes a member.
-func (m *seat) Remove(ctx context.Context, id raft.MemberID) error {
-	d, err := m.get()
+func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
+	d, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
@@ -97,8 +99,8 @@
 }
 
 // Join adds a member.
-func (m *seat) Join(ctx context.Context, x raft.Member) error {
-	d, err := m.get()
+func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
+	d, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
@@ -110,9 +112,9 @@
 
 // Hello says who this process is. It counts as initialised once it has a
 // member list.
-func (m *seat) Hello() boot.Hello {
+func (m *groupMember) Hello() boot.Hello {
 	h := m.self
-	members := m.ask(context.Background()).Members
+	members := m.queryStatus(context.Background()).Members
 	h.Initialised = h.Initialised || len(members) > 0
 	for _, x := range members {
 		if !x.Voter {
@@ -124,27 +126,27 @@
 }
 
 // Propose hands a change to the group.
-func (m *seat) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	d, err := m.get()
+func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
+	d, err := m.getConsensus()
 	if err != nil {
 		return model.Result{}, notLeading{}
 	}
 	r, err := d.Propose(ctx, c)
-	return r, mapped(err)
+	return r, asNotLeading(err)
 }
 
 // Read returns once a read that starts now may be answered.
-func (m *seat) Read(ctx context.Context) error {
-	d, err := m.get()
+func (m *groupMember) Read(ctx context.Context) error {
+	d, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return mapped(d.ReadBarrier(ctx))
+	return asNotLeading(d.ReadBarrier(ctx))
 }
 
 // Query runs f on the replicated state.
-func (m *seat) Query(ctx context.Context, f func(*fleet.State)) error {
-	d, err := m.get()
+func (m *groupMember) Query(ctx context.Context, f func(*fleet.State)) error {
+	d, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
@@ -152,8 +154,8 @@
 }
 
 // Await returns once the table's version is above v or ctx has ended.
-func (m *seat) Await(ctx context.Context, v model.Version) {
-	d, err := m.get()
+func (m *groupMember) Await(ctx context.Context, v model.Version) {
+	d, err := m.getConsensus()
 	if err != nil {
 		<-ctx.Done()
 		return
@@ -170,8 +172,8 @@
 }
 
 // Step passes messages of other members on.
-func (m *seat) Step(all []raft.Message) error {
-	d, err := m.get()
+func (m *groupMember) Step(all []raft.Message) error {
+	d, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
@@ -181,8 +183,8 @@
 
 // Status is the state of consensus in this process, as of the duty's latest
 // report.
-func (m *seat) Status() peers.GroupStatus {
-	s := m.last.Load()
+func (m *groupMember) Status() peers.GroupStatus {
+	s := m.lastStatus.Load()
 	if s == nil {
 		return peers.GroupStatus{}
 	}
@@ -190,14 +192,14 @@
 }
 
 // Leads reports whether this process leads and in which term.
-func (m *seat) Leads() (uint64, bool) {
+func (m *groupMember) Leads() (uint64, bool) {
 	s := m.Status()
 	return s.Term, s.Role == raft.RoleLeader
 }
 
 // NotApplied reports whether an error of Propose says that the change was not and
 // will not be applied.
-func (m *seat) NotApplied(err error) bool {
+func (m *groupMember) NotApplied(err error) bool {
 	var n notLeading
 	var e *group.Error
 	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
@@ -213,9 +215,9 @@
 	return string(e.leader.Name), e.leader.Address
 }
 
-// mapped turns the error of a member that does not lead into one that names
+// asNotLeading turns the error of a member that does not lead into one that names
 // the leader.
-func mapped(err error) error {
+func asNotLeading(err error) error {
 	var e *group.Error
 	if errors.As(err, &e) && e.Kind == group.KindNotLeader {
 		return notLeading{leader: e.Leader}
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -23,22 +23,22 @@
 
 // Times of an entry process for submitters.
 const (
-	// pingWait separates two checks whether the leader can be reached, and
+	// pingInterval separates two checks whether the leader can be reached, and
 	// pingAge is the age from which a good check no longer counts.
-	pingWait = 500 * clock.Millis(1)
-	pingAge  = 1800 * clock.Millis(1)
-	// leaderWait bounds the search for a leader in one call. An election takes
+	pingInterval = 500 * clock.Millis(1)
+	maxPingAge   = 1800 * clock.Millis(1)
+	// leaderTimeout bounds the search for a leader in one call. An election takes
 	// one to two seconds, and a caller who is refused early can come back in
 	// time.
-	leaderWait = 900 * clock.Millis(1)
-	// againWait separates two tries of one call.
-	againWait = 100 * clock.Millis(1)
-	// submitLameDuck is the time between the first failing readiness check and
+	leaderTimeout = 900 * clock.Millis(1)
+	// retryDelay separates two tries of one call.
+	retryDelay = 100 * clock.Millis(1)
+	// submitLameDuckTime is the time between the first failing readiness check and
 	// the close of the listener: the balancer checks once a second and needs
 	// two misses.
-	submitLameDuck = 2200 * clock.Millis(1)
-	submitDrain    = 2500 * clock.Millis(1)
-	entryEvents    = 1000
+	submitLameDuckTime  = 2200 * clock.Millis(1)
+	submitDrainTimeout  = 2500 * clock.Millis(1)
+	submitEventCapacity = 1000
 )
 
 // SubmitOptions says how an entry process for submitters runs.
@@ -64,31 +64,31 @@
 
 // SubmitService is what an adapter for submitters works with.
 type SubmitService struct {
-	leader  *peers.Leader
-	clock   clock.Clock
-	Log     *log.Logger
-	pinged  *atomic.Int64
-	leaving *atomic.Bool
-	stats   *submitStats
+	leader   *peers.Leader
+	clock    clock.Clock
+	Log      *log.Logger
+	lastPing *atomic.Int64
+	leaving  *atomic.Bool
+	stats    *submitStats
 }
 
 // submitStats counts what callers were answered.
 type submitStats struct {
 	// answers counts by kind of answer.
 	answers [runner.AnswerOutcomeUnknown + 1]atomic.Int64
-	// millis takes the time of each call.
-	millis metrics.Histogram
+	// callMillis takes the time of each call.
+	callMillis metrics.Histogram
 }
 
-// registry returns the metrics of the process.
-func (s SubmitService) registry(client *peers.Client, dropped func() int64) metrics.Registry {
+// newMetrics returns the metrics of the process.
+func (s SubmitService) newMetrics(client *peers.Client, dropped func() int64) metrics.Registry {
 	r := metrics.NewRegistry()
 	for kind := range s.stats.answers {
-		counters(r, []counter{{"calls-" + runner.AnswerKind(kind).String(), s.stats.answers[kind].Load}})
+		registerCounters(r, []counter{{"calls-" + runner.AnswerKind(kind).String(), s.stats.answers[kind].Load}})
 	}
-	counters(r, usage(client.Traffic))
-	counters(r, []counter{{"log-lines-dropped", dropped}})
-	_ = r.Register("call-ms", s.stats.millis)
+	registerCounters(r, processCounters(client.Traffic))
+	registerCounters(r, []counter{{"log-lines-dropped", dropped}})
+	_ = r.Register("call-ms", s.stats.callMillis)
 	return r
 }
 
@@ -98,8 +98,8 @@
 // caller. One that was not is refused soon, so that the caller can come back.
 func (s SubmitService) Call(ctx context.Context, c runner.Call) runner.Answer {
 	began := s.clock.Now()
-	a := s.call(ctx, c, began+leaderWait)
-	s.stats.millis.Update(int64(s.clock.Now() - began))
+	a := s.call(ctx, c, began+leaderTimeout)
+	s.stats.callMillis.Update(int64(s.clock.Now() - began))
 	s.stats.answers[a.Kind].Add(1)
 	return a
 }
@@ -120,7 +120,7 @@
 			return a
 		}
 		select {
-		case <-s.clock.After(againWait):
+		case <-s.clock.After(retryDelay):
 		case <-ctx.Done():
 		}
 	}
@@ -128,7 +128,7 @@
 
 // try hands a call to the leader once.
 func (s SubmitService) try(ctx context.Context, c runner.Call) runner.Answer {
-	ctx, cancel := context.WithTimeout(ctx, leaderWait.Duration())
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout.Duration())
 	defer cancel()
 	a, err := s.leader.Work(ctx, c)
 	if err == nil {
@@ -137,13 +137,13 @@
 	if peers.Uncertain(err) {
 		return runner.Answer{Kind: runner.AnswerOutcomeUnknown, Reason: err.Error()}
 	}
-	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingWait, Reason: err.Error()}
+	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingInterval, Reason: err.Error()}
 }
 
 // Ready reports whether new callers are welcome: the leader was reached lately
 // and the process is not stopping.
 func (s SubmitService) Ready() bool {
-	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.pinged.Load()) < pingAge
+	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.lastPing.Load()) < maxPingAge
 }
 
 // notReady is the reason why new callers are not welcome; empty when they are.
@@ -166,11 +166,11 @@
 	if err != nil {
 		return err
 	}
-	recorder := record.New(o.Name, entryEvents, clk)
+	recorder := record.New(o.Name, submitEventCapacity, clk)
 	client := peers.NewClient(o.Name, recorder)
 	s := SubmitService{
 		leader: peers.NewLeader(client, o.Controls, clk), clock: clk, Log: lg,
-		pinged: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{millis: admin.NewHistogram()},
+		lastPing: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{callMillis: admin.NewHistogram()},
 	}
 	var g run.Group
 	addSignals(&g, lg)
@@ -184,17 +184,17 @@
 	}
 	adm, err := admin.New(admin.Config{
 		Address: o.AdminAddress, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
-		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStop, Registry: s.registry(client, async.Dropped),
+		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStopTimeout, Registry: s.newMetrics(client, async.Dropped),
 	})
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	s.addCallers(&g, callers, o)
-	add(&g, &pinger{submitter: s, done: make(chan struct{})})
+	addComponent(&g, &pinger{submitter: s, done: make(chan struct{})})
 	addServer(&g, ready, o.ReadyHandler(s), clock.Second)
-	add(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
-	add(&g, adm)
-	add(&g, recorder)
+	addComponent(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
+	addComponent(&g, adm)
+	addComponent(&g, recorder)
 	lg.Info("started", "front", o.FrontAddress)
 	err = g.Run()
 	client.Close()
@@ -214,8 +214,8 @@
 	}), o.MaxHeaderBytes)
 	g.Add(func() error { return server.Serve(l) }, func(error) {
 		s.leaving.Store(true)
-		<-s.clock.After(submitLameDuck)
-		if err := server.Shutdown(submitDrain); err != nil {
+		<-s.clock.After(submitLameDuckTime)
+		if err := server.Shutdown(submitDrainTimeout); err != nil {
 			s.Log.Warn("requests cut off at the stop", "err", err)
 		}
 	})
@@ -236,14 +236,14 @@
 		a, err := p.submitter.leader.Work(ctx, runner.Call{Kind: runner.CallPing})
 		cancel()
 		if err == nil && a.Kind == runner.AnswerDone {
-			p.submitter.pinged.Store(int64(p.submitter.clock.Now()))
+			p.submitter.lastPing.Store(int64(p.submitter.clock.Now()))
 		}
 		if is := p.submitter.Ready(); is != was {
 			p.submitter.Log.Info("readiness-changed", "ready", is, "err", err, "reason", a.Reason)
 			was = is
 		}
 		select {
-		case <-p.submitter.clock.After(pingWait):
+		case <-p.submitter.clock.After(pingInterval):
 		case <-p.done:
 			return nil
 		}
--- a/io/trans/roles/usage.go
+++ b/io/trans/roles/usage.go
@@ -9,9 +9,9 @@
 	"camphorridge/io/trans/peers"
 )
 
-// usage lists what the process itself costs: processor time, resident memory
+// processCounters lists what the process itself costs: processor time, resident memory
 // and the bytes of control traffic.
-func usage(t *peers.Traffic) []counter {
+func processCounters(t *peers.Traffic) []counter {
 	return []counter{
 		{"process-cpu-ms", cpuMillis},
 		{"process-resident-bytes", residentBytes},
