--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -119,7 +119,7 @@
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
-	c.member = newGroupMember(hello, c.senders)
+	c.member = newMember(hello, c.senders)
 	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *groupMember]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
 		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
@@ -192,7 +192,7 @@
 	}
 	addComponent(g, c.membership)
 	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), timeline), peerStopTimeout)
-	addComponent(g, newConsensusRunner(c))
+	addComponent(g, newGroupRunner(c))
 	addComponent(g, adm)
 	addComponent(g, c.recorder)
 	return nil
--- a/io/trans/roles/form.go
+++ b/io/trans/roles/group.go
@@ -24,20 +24,18 @@
 	keptEntries        = 1000
 )
 
-// consensusRunner is the duty that forms or joins the group and then runs the
+// groupRunner is the duty that forms or joins the group and then runs the
 // consensus duty.
-type consensusRunner struct {
-	control *Control
-	done    chan struct{}
+type groupRunner struct {
+	ctrl *Control
+	done chan struct{}
 }
 
-func newConsensusRunner(c *Control) *consensusRunner {
-	return &consensusRunner{control: c, done: make(chan struct{})}
-}
+func newGroupRunner(c *Control) *groupRunner { return &groupRunner{ctrl: c, done: make(chan struct{})} }
 
 // Run forms or joins the group and drives consensus until Stop.
-func (f *consensusRunner) Run() error {
-	c := f.control
+func (f *groupRunner) Run() error {
+	c := f.ctrl
 	stored := c.disk.Stored()
 	if !initialised(stored) {
 		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
@@ -64,10 +62,10 @@
 }
 
 // runConsensus runs the duty until Stop.
-func (f *consensusRunner) runConsensus(d *consensusGroup) error {
+func (f *groupRunner) runConsensus(d *consensusGroup) error {
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run() }()
-	defer f.control.senders.Stop()
+	defer f.ctrl.senders.Stop()
 	select {
 	case err := <-ended:
 		return err
@@ -78,7 +76,7 @@
 }
 
 // Stop ends Run.
-func (f *consensusRunner) Stop() { close(f.done) }
+func (f *groupRunner) Stop() { close(f.done) }
 
 // initialIndex is the index of the snapshot that every member of a new group
 // writes by itself: the empty state and the first member list.
@@ -86,19 +84,19 @@
 
 // formGroup writes the first snapshot. The term starts at that of the snapshot, so
 // that the first leader's term is above it.
-func (f *consensusRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
+func (f *groupRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
 	stored.Snapshot = raft.SnapshotMeta{Index: initialIndex, Term: initialIndex, Members: members}
 	stored.Hard = raft.HardState{Term: initialIndex, Commit: initialIndex}
 	s := fleet.New()
 	s.Index = initialIndex
-	err := f.control.disk.Install(stored.Snapshot, codec.Codec{}.EncodeState(s))
+	err := f.ctrl.disk.Install(stored.Snapshot, codec.Codec{}.EncodeState(s))
 	if err == nil {
-		err = f.control.disk.Save(&stored.Hard, nil)
+		err = f.ctrl.disk.Save(&stored.Hard, nil)
 	}
 	if err != nil {
 		return &Error{Op: "form the group", Kind: KindStore, Err: err}
 	}
-	f.control.record(model.Event{Kind: model.EventRole, Detail: "formed the group"})
+	f.ctrl.record(model.Event{Kind: model.EventRole, Detail: "formed the group"})
 	return nil
 }
 
@@ -110,33 +108,33 @@
 	diskRetryDelay        clock.Millis = 500
 )
 
-func (f *consensusRunner) groupConfig() group.Config {
-	c := f.control.cfg.Consensus
+func (f *groupRunner) groupConfig() group.Config {
+	c := f.ctrl.cfg.Consensus
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(f.control.cfg.Name))
+	_, _ = h.Write([]byte(f.ctrl.cfg.Name))
 	return group.Config{
 		Raft: raft.Config{
 			ElectionTimeout: c.ElectionMillis, HeartbeatInterval: c.HeartbeatMillis,
 			MaxAppendBytes: maxAppendBytes, ChunkBytes: snapshotChunkBytes, KeepEntries: keptEntries,
-			Seed: h.Sum64() + uint64(f.control.clock.Now()),
+			Seed: h.Sum64() + uint64(f.ctrl.clock.Now()),
 		},
 		TickInterval: consensusTickInterval, RingCapacity: consensusRingCapacity, MaxPending: maxPendingProposals,
 		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetryDelay,
-		Send: f.control.senders.Send, Observe: f.observe,
+		Send: f.ctrl.senders.Send, Observe: f.observe,
 	}
 }
 
 // observe adds changes of role and disk to the time line. The duty calls it.
-func (f *consensusRunner) observe(s group.Status) {
-	before := f.control.member.lastStatus.Load()
-	f.control.member.updateStatus(s)
+func (f *groupRunner) observe(s group.Status) {
+	before := f.ctrl.member.lastStatus.Load()
+	f.ctrl.member.updateStatus(s)
 	if before == nil || before.Role != s.Role || before.Term != s.Term {
-		f.control.record(model.Event{
+		f.ctrl.record(model.Event{
 			Kind: model.EventRole, Version: model.Version(s.Term),
 			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
 		})
 	}
 	if s.DiskError != "" && (before == nil || before.DiskError == "") {
-		f.control.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
+		f.ctrl.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
 	}
 }
--- a/io/trans/roles/seat.go
+++ b/io/trans/roles/member.go
@@ -32,9 +32,7 @@
 	consensus *consensusGroup
 }
 
-func newGroupMember(self boot.Hello, s *peers.Senders) *groupMember {
-	return &groupMember{self: self, senders: s}
-}
+func newMember(h boot.Hello, s *peers.Senders) *groupMember { return &groupMember{self: h, senders: s} }
 
 func (m *groupMember) setConsensus(d *consensusGroup) {
 	m.mu.Lock()
