--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -19,36 +19,37 @@
 	"camphorridge/io/proto/report"
 )
 
-// Bounds of the endpoint.
+// Limits of the endpoint.
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 10 * time.Second
 	writeTimeout      = 30 * time.Second
 	idleTimeout       = time.Minute
 	maxHeaderBytes    = 16 << 10
-	// PageSize is the largest number of events in one response. At about 200
-	// bytes each the response stays near 2 MB.
+	// PageSize is the maximum number of events in one response. An event takes about
+	// 200 bytes, so a response is about 2 MB.
 	PageSize = 10_000
 )
 
-// Config describes the endpoint of one process.
+// Config configures the endpoint of one process.
 type Config struct {
-	// Address is ip:port; port 0 picks a free one.
-	Address  string
+	// Address is the ip:port to listen on; with port 0 a free port is used.
+	Address string
+	// Labels are added to every metric.
 	Labels   []Label
 	Registry metrics.Registry
-	// Ready returns the reason why the process is not ready; empty when it is.
+	// Ready returns why the process is not ready. It is empty if it is ready.
 	Ready func() string
 	// Events returns at most limit events with a sequence number above since,
 	// oldest first.
 	Events func(since uint64, limit int) []model.Event
-	// StopMillis bounds a graceful stop.
+	// StopMillis is the maximum time that a stop waits for requests in progress.
 	StopMillis clock.Millis
-	// ErrorLog takes the errors of connections; nil drops them.
+	// ErrorLog logs the errors of connections. If it is nil, they are discarded.
 	ErrorLog *log.Logger
 }
 
-// Server serves the endpoint.
+// Server is the server of the endpoint.
 type Server struct {
 	cfg      Config
 	listener net.Listener
@@ -57,7 +58,8 @@
 	stop     sync.Once
 }
 
-// New listens on the configured address.
+// New returns a server that listens on the configured address; Run serves it. The
+// error is of KindListen.
 func New(cfg Config) (*Server, error) {
 	l, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
@@ -75,11 +77,12 @@
 	return s, nil
 }
 
-// Addr is the address listened on.
+// Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Run serves until Stop, then lets the requests in progress end within the
-// bound.
+// Run serves until Stop is called, and then waits for the requests in progress, at
+// most for StopMillis. It returns a KindStop error if they take longer, and a
+// KindListen error if serving fails.
 func (s *Server) Run() error {
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(s.listener) }()
@@ -98,10 +101,10 @@
 	return err
 }
 
-// Stop ends Run; it may be called more than once.
+// Stop ends Run. It may be called more than once.
 func (s *Server) Stop() { s.stop.Do(func() { close(s.done) }) }
 
-// Handler serves the paths of the endpoint.
+// Handler returns the handler of the paths /metrics, /healthz, /readyz and /events.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", s.metrics)
@@ -115,7 +118,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("X-Content-Type-Options", "nosniff")
 	w.WriteHeader(status)
-	// A failed write means that the client is gone; there is nobody to tell.
+	// A write only fails if the client has disconnected, so the error is ignored.
 	_, _ = io.WriteString(w, line+"\n")
 }
 
@@ -132,8 +135,8 @@
 	writeText(w, http.StatusOK, "ready")
 }
 
-// events answers with at most PageSize events; the client asks again with the
-// last sequence number until the list is empty.
+// events writes at most PageSize events as JSON. To get the rest, the client repeats
+// the request with the last sequence number as since, until the list is empty.
 func (s *Server) events(w http.ResponseWriter, r *http.Request) {
 	var since uint64
 	if v := r.URL.Query().Get("since"); v != "" {
--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -20,8 +20,8 @@
 	"camphorridge/io/trans/admin"
 )
 
-// TestExpose guards against a page that scrapers reject: names with other
-// characters, two metrics of one name, unescaped labels.
+// TestExpose guards against a page that scrapers reject: names with invalid
+// characters, two metrics of the same name, or unescaped label values.
 func TestExpose(t *testing.T) {
 	r := metrics.NewRegistry()
 	requests, version := metrics.NewCounter(), metrics.NewGauge()
@@ -50,8 +50,8 @@
 	golden.Assert(t, b.String(), "entry.txt")
 }
 
-// TestHistogramTotal guards against a sum that follows the sample only and
-// goes back between two scrapes.
+// TestHistogramTotal guards against a sum that covers only the sampled values and
+// decreases between two scrapes.
 func TestHistogramTotal(t *testing.T) {
 	r, h := metrics.NewRegistry(), admin.NewHistogram()
 	assert.NilError(t, r.Register("h", h))
@@ -63,7 +63,7 @@
 	assert.Assert(t, strings.Contains(b.String(), "camphorridge_h_sum 10000\ncamphorridge_h_count 5000\n"), b.String())
 }
 
-// start runs an endpoint and returns its server and the result of Run.
+// start starts a server and returns it with a channel for the result of Run.
 func start(t *testing.T, cfg admin.Config) (*admin.Server, <-chan error) {
 	t.Helper()
 	cfg.Address, cfg.Registry = "127.0.0.1:0", metrics.NewRegistry()
@@ -87,8 +87,8 @@
 	return resp.StatusCode, string(body)
 }
 
-// TestPaths guards against a process that is taken for ready when it is not,
-// and against parameters that are taken for others.
+// TestPaths guards against reporting a process as ready when it is not, and against
+// misreading request parameters.
 func TestPaths(t *testing.T) {
 	reason := "no table"
 	s, ran := start(t, admin.Config{
@@ -119,8 +119,8 @@
 	assert.NilError(t, <-ran)
 }
 
-// TestFetch guards against events that are lost or fetched twice at the
-// border of two pages, and against an error that is taken for no events.
+// TestFetch guards against losing or duplicating events at the boundary of two
+// pages, and against treating an error as an empty list.
 func TestFetch(t *testing.T) {
 	const total = 2*admin.PageSize + 1
 	s, _ := start(t, admin.Config{StopMillis: clock.Second, Events: func(since uint64, limit int) []model.Event {
@@ -151,8 +151,8 @@
 	assert.ErrorIs(t, err, context.Canceled)
 }
 
-// TestStop guards against a stop that cuts a request which ends within the
-// bound, and against one that waits beyond it.
+// TestStop guards against a stop that aborts a request which ends within
+// StopMillis, and against one that waits longer than that.
 func TestStop(t *testing.T) {
 	for name, bound := range map[string]clock.Millis{"within": clock.Minute, "beyond": 1} {
 		t.Run(name, func(t *testing.T) {
@@ -173,7 +173,7 @@
 			<-entered
 			s.Stop()
 			if name == "within" {
-				// The stop must still wait: an early end would be seen here.
+				// Run must still be waiting for the request.
 				select {
 				case err := <-ran:
 					t.Fatalf("Run ended before the request: %v", err)
--- a/io/trans/admin/doc.go
+++ b/io/trans/admin/doc.go
@@ -1,3 +1,3 @@
-// Package admin is the HTTP endpoint of every process for metrics, health and
-// the time line, and the client for the latter.
+// Package admin provides the HTTP endpoint of every process for metrics, health
+// and events, and a client that fetches the events.
 package admin
--- a/io/trans/admin/error.go
+++ b/io/trans/admin/error.go
@@ -1,21 +1,23 @@
 package admin
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // The kinds of error.
 const (
-	// KindListen: the address cannot be listened on, or listening failed.
+	// KindListen: the server could not listen on the address, or failed while it was
+	// serving.
 	KindListen Kind = iota
-	// KindStop: requests were still running at the end of the bound on a stop.
+	// KindStop: requests were still in progress when the time for a graceful stop was
+	// over.
 	KindStop
-	// KindRegister: a metric of that name exists.
+	// KindRegister: a metric of the same name is registered already.
 	KindRegister
-	// KindFetch: another process did not answer with its events.
+	// KindFetch: the events of another process could not be fetched.
 	KindFetch
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -11,10 +11,10 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// prefix starts the name of every metric.
+// prefix is the prefix of the name of every metric.
 const prefix = "camphorridge_"
 
-// quantiles are those of every summary.
+// quantiles holds the quantiles that every summary has.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
 // Label is a constant label of all metrics of a process.
@@ -29,8 +29,8 @@
 	metric any
 }
 
-// Expose writes the metrics in the text format 0.0.4 that scrapers read,
-// sorted by name.
+// Expose writes the metrics in the Prometheus text format 0.0.4, sorted by name.
+// Only the sum of a histogram of NewHistogram is known; others have none.
 func Expose(w io.Writer, r metrics.Registry, labels []Label) error {
 	x := exposer{labels: formatLabels(labels), usedNames: map[string]bool{}}
 	var all []namedMetric
@@ -43,11 +43,12 @@
 	return err
 }
 
+// exposer writes metrics to out. labels are the formatted labels of all metrics.
 type exposer struct {
 	out    strings.Builder
 	labels string
-	// usedNames holds the names written: two names of the registry can become the
-	// same name here.
+	// usedNames holds the names written so far, because two names of the registry can
+	// be equal once sanitised.
 	usedNames map[string]bool
 }
 
@@ -81,8 +82,8 @@
 	x.writeSample(n, x.labels, v)
 }
 
-// writeSummary writes quantiles, sum and count; a sum that is not known is left
-// out.
+// writeSummary writes the quantiles, the sum and the count. It omits the sum if it is
+// NaN, which means unknown.
 func (x *exposer) writeSummary(name string, values []float64, sum float64, count int64) {
 	n := x.uniqueName(name, "", "", "_sum", "_count")
 	fmt.Fprintf(&x.out, "# TYPE %s summary\n", n)
@@ -110,9 +111,9 @@
 	fmt.Fprintf(&x.out, "%s%s %s\n", name, labels, formatNumber(v))
 }
 
-// uniqueName returns a name that is free with each of the suffixes; a number tells
-// names apart that are equal once sanitised. Scrapers reject a page with two
-// metrics of one name.
+// uniqueName returns the name of a metric with prefix and suffix, and reserves the
+// name with each suffix in reserve. It inserts a number if the name is in use,
+// because scrapers reject a page with two metrics of the same name.
 func (x *exposer) uniqueName(name, suffix string, reserve ...string) string {
 	base := prefix + strings.TrimSuffix(sanitiseName(name), suffix)
 	n := base
@@ -125,7 +126,8 @@
 	return n + suffix
 }
 
-// sanitiseName replaces what a metric's name must not contain.
+// sanitiseName replaces each character other than an ASCII letter or digit by an
+// underscore.
 func sanitiseName(name string) string {
 	return strings.Map(func(r rune) rune {
 		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
--- a/io/trans/admin/fetch.go
+++ b/io/trans/admin/fetch.go
@@ -11,15 +11,16 @@
 )
 
 const (
-	// maxPageBytes bounds the bytes of one response to Fetch.
+	// maxPageBytes is the maximum size of one response that FetchEvents accepts.
 	maxPageBytes = 64 << 20
-	// maxPages bounds the requests of one Fetch, so that it ends even when a
-	// process records faster than it answers.
+	// maxPages is the maximum number of requests of one FetchEvents, so that it ends
+	// even if a process records events faster than it sends them.
 	maxPages = 128
 )
 
-// FetchEvents returns the events of the process whose admin endpoint has the given
-// address, from those after the sequence number since.
+// FetchEvents returns the events with a sequence number above since of the process
+// whose admin endpoint has the given host:port. It returns at most
+// maxPages*PageSize events. Its errors are of KindFetch.
 func FetchEvents(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
 	var all []model.Event
 	for range maxPages {
@@ -36,6 +37,7 @@
 	return all, nil
 }
 
+// fetchPage returns at most PageSize events with a sequence number above since.
 func fetchPage(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/events?since=%d", address, since), nil)
 	if err != nil {
--- a/io/trans/admin/stats.go
+++ b/io/trans/admin/stats.go
@@ -7,26 +7,28 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// The reservoir of a histogram: 1028 values give the quantiles with an error
-// of 5 % at a confidence of 99.9 %, and the decay favours the last 5 minutes.
+// The exponentially decaying reservoir of a histogram. 1028 values give the
+// quantiles with an error of 5 % at a confidence of 99.9 %, and the decay factor
+// gives most weight to the last 5 minutes.
 const (
 	reservoirSize  = 1028
 	reservoirAlpha = 0.015
 )
 
-// RegisterCounter registers a counter that a duty keeps by itself; f must be usable
-// from any goroutine.
+// RegisterCounter registers a counter whose value f returns. f must be safe to call
+// from any goroutine. The error is of KindRegister.
 func RegisterCounter(r metrics.Registry, name string, f func() int64) error {
 	return register(r, name, countFunc(f))
 }
 
-// RegisterGauge registers a gauge that a duty keeps by itself; f must be usable from
-// any goroutine.
+// RegisterGauge registers a gauge whose value f returns. f must be safe to call from
+// any goroutine. The error is of KindRegister.
 func RegisterGauge(r metrics.Registry, name string, f func() int64) error {
 	return register(r, name, metrics.NewFunctionalGauge(f))
 }
 
-// RegisterHistogram registers a new histogram.
+// RegisterHistogram registers and returns a new histogram. The error is of
+// KindRegister.
 func RegisterHistogram(r metrics.Registry, name string) (metrics.Histogram, error) {
 	h := NewHistogram()
 	return h, register(r, name, h)
@@ -39,18 +41,18 @@
 	return nil
 }
 
-// countFunc is a counter that reads its value elsewhere.
+// countFunc is a counter whose value the function returns.
 type countFunc func() int64
 
 func (f countFunc) Count() int64 { return f() }
 
-// Clear panics: the value belongs to a duty.
+// Clear panics, because the counter is read-only.
 func (f countFunc) Clear() { panic("Clear called on a counter that a duty keeps") }
 
-// Dec panics: the value belongs to a duty.
+// Dec panics, because the counter is read-only.
 func (f countFunc) Dec(int64) { panic("Dec called on a counter that a duty keeps") }
 
-// Inc panics: the value belongs to a duty.
+// Inc panics, because the counter is read-only.
 func (f countFunc) Inc(int64) { panic("Inc called on a counter that a duty keeps") }
 
 func (f countFunc) Snapshot() metrics.Counter {
@@ -58,13 +60,14 @@
 	return countFunc(func() int64 { return n })
 }
 
-// NewHistogram returns a histogram whose total is exact; that of the library
-// covers the sampled values only, so it would go back between two scrapes.
+// NewHistogram returns a histogram whose sum covers all values. The sum of the
+// library's histograms covers only the sampled values, so it could decrease between
+// two scrapes.
 func NewHistogram() metrics.Histogram {
 	return metrics.NewHistogram(&totalSample{Sample: metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)})
 }
 
-// totalSample adds the sum of all values to a sample.
+// totalSample is a sample that also keeps the sum of all values.
 type totalSample struct {
 	metrics.Sample
 	total atomic.Int64
@@ -75,5 +78,5 @@
 	s.Sample.Update(v)
 }
 
-// Total is the sum of all values since the start.
+// Total returns the sum of all values since the histogram was created.
 func (s *totalSample) Total() int64 { return s.total.Load() }
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -15,7 +15,8 @@
 	"camphorridge/io/trans/peers"
 )
 
-// propose hands in a change and prints its result.
+// propose proposes a change and prints the result. It sets the author and the
+// request ID, which is random unless the operator has given one.
 func propose(o *options, p *controlClient, out io.Writer, c model.Change) error {
 	c.Author = o.author
 	if c.Author == "" {
@@ -43,7 +44,8 @@
 	return nil
 }
 
-// baseVersion is the version that the operator named, or the one in force.
+// baseVersion returns the base version that the operator has given, or otherwise the
+// current version.
 func (o *options) baseVersion(current model.Version) model.Version {
 	if o.base >= 0 {
 		return model.Version(o.base)
@@ -62,6 +64,8 @@
 	})
 }
 
+// contractVersion returns the current version of a customer's contract, or 0 if there
+// is none.
 func contractVersion(v peers.Overview, name model.Customer) model.Version {
 	for _, c := range v.Status.Contracts {
 		if c.Customer == name {
@@ -94,6 +98,8 @@
 	})
 }
 
+// maintenanceVersion returns the current version of a declaration, or 0 if there is
+// none.
 func maintenanceVersion(v peers.Overview, name string) model.Version {
 	for _, m := range v.Status.Maintenance {
 		if m.Name == name {
@@ -121,7 +127,8 @@
 	})
 }
 
-// parseDeadline reads a duration from now or a date and time.
+// parseDeadline parses a duration from now or a time in RFC 3339 format. The deadline
+// must be after now.
 func parseDeadline(s string, now clock.Millis) (clock.Millis, error) {
 	if d, err := time.ParseDuration(s); err == nil {
 		if d <= 0 {
@@ -154,8 +161,9 @@
 	})
 }
 
-// retireInstance releases an instance for good. Its pool is filled from the
-// spare; the step ends when every entry process of the zone confirmed it.
+// retireInstance removes an instance from the fleet permanently. A spare instance
+// replaces it in its pool; the release ends when every entry process of the zone has
+// confirmed it.
 func retireInstance(o *options, out io.Writer) error {
 	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, i := range v.Status.Instances {
@@ -171,9 +179,9 @@
 	})
 }
 
-// declareGone tells the group that no run of an entry process so far is left.
-// Only the operator can know that a silent process does not serve a cut-off
-// zone.
+// declareGone tells the control group that an entry process no longer runs in any
+// incarnation so far. Only the operator can know this: a process that doesn't report
+// may still serve a zone that is cut off from the control group.
 func declareGone(o *options, out io.Writer) error {
 	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, m := range v.Entries {
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -9,7 +9,7 @@
 	"github.com/integrii/flaggy"
 )
 
-// Version is the program's version; releases set it when linking.
+// Version is the version of the program. Releases set it with a linker flag.
 var Version = "development"
 
 // Exit statuses.
@@ -18,7 +18,7 @@
 	ExitUsage  = 2
 )
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // The kinds of error.
@@ -30,7 +30,7 @@
 	KindFailed
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
@@ -66,13 +66,14 @@
 	queue    string
 }
 
-// command is a subcommand with what it runs.
+// command is a subcommand and the function that runs it.
 type command struct {
 	sub *flaggy.Subcommand
 	run func(o *options, out io.Writer) error
 }
 
-// Main runs the program and returns its exit status.
+// Main runs the subcommand that args name and returns the exit status of the
+// program. It writes errors to errOut.
 func Main(args []string, out, errOut io.Writer) int {
 	o := &options{control: os.Getenv("CAMPHORRIDGE_CONTROL"), author: os.Getenv("USER"), base: -1}
 	p := flaggy.NewParser("camphorridge")
@@ -106,8 +107,8 @@
 	return ExitFailed
 }
 
-// addSubcommands adds all subcommands to the parser. Subcommands of a group come
-// before the group, so that the most exact one runs.
+// addSubcommands adds all subcommands to the parser and returns those that can be
+// run. Groups of subcommands can't be run themselves.
 func addSubcommands(p *flaggy.Parser, o *options) []command {
 	var all []command
 	add := func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand {
@@ -132,7 +133,8 @@
 	return all
 }
 
-// addFunc attaches one subcommand to a parent, or to the program for nil.
+// addFunc adds a subcommand to parent, or to the program if parent is nil. run is nil
+// for a group of subcommands.
 type addFunc func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand
 
 func attachRoles(add addFunc, o *options) {
--- a/io/trans/cmds/doc.go
+++ b/io/trans/cmds/doc.go
@@ -1,3 +1,3 @@
-// Package cmds holds the subcommands of the program: the server roles, the
-// check of settings and contracts, and the commands of operators.
+// Package cmds implements the subcommands of the program: the server roles, the
+// check of settings, contract and job files, and the commands for operators.
 package cmds
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -12,7 +12,8 @@
 	"camphorridge/io/proto/report"
 )
 
-// callLeader hands a call on jobs to the leader and passes a good answer on.
+// callLeader sends a call about jobs to the leader and calls f with the answer if the call
+// was done. Otherwise it returns an error.
 func callLeader(o *options, op string, c runner.Call, f func(runner.Answer) error) error {
 	p, err := newControlClient(o)
 	if err != nil {
@@ -31,7 +32,7 @@
 	return f(a)
 }
 
-// printStatus prints the state of a job.
+// printStatus returns a function that prints the state of a job.
 func printStatus(o *options, out io.Writer, id jobs.ID) func(runner.Answer) error {
 	return func(a runner.Answer) error { return report.JobStatus(out, o.format(), id, a.Status) }
 }
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -17,11 +17,12 @@
 	"camphorridge/io/trans/peers"
 )
 
-// commandTimeout bounds one command; an election takes a few seconds at most.
+// commandTimeout is the timeout of one command. It is longer than an election, which
+// takes a few seconds at most.
 const commandTimeout = 15 * time.Second
 
-// commandStamps keeps the hybrid clock of a command, so that its changes are ordered
-// after what it read.
+// commandStamps holds the hybrid logical clock of a command, so that its changes are
+// ordered after what it has read.
 type commandStamps struct {
 	clock  clock.Clock
 	hybrid trail.HybridClock
@@ -31,7 +32,7 @@
 
 func (s *commandStamps) Observe(m model.Stamp) { s.hybrid.Observe(m, s.clock.Now()) }
 
-// controlClient calls the control group for one command.
+// controlClient is the client of the control group for one command.
 type controlClient struct {
 	client *peers.Client
 	leader *peers.Leader
--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -10,7 +10,7 @@
 	"camphorridge/io/proto/conf"
 )
 
-// contractChecker judges contracts against the fleet before they are proposed.
+// contractChecker checks contracts against the fleet before they are proposed.
 type contractChecker struct {
 	clock    clock.Clock
 	settings limits.Settings
@@ -23,8 +23,9 @@
 	}}
 }
 
-// check returns why a change is refused, or what falls short of a contract
-// that is accepted all the same.
+// check returns the reason why a change must be refused, or a note that lists
+// the shortfalls of a contract which can be accepted. Both are empty if the
+// contract can be met, and for changes other than applying a contract.
 func (k *contractChecker) check(s *fleet.State, c model.Change) (refusal, note string) {
 	if c.Kind != model.ChangeContractApply {
 		return "", ""
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -26,8 +26,9 @@
 	"camphorridge/io/trans/peers"
 )
 
-// The policies of the product: a wave stops when what it touched fails
-// significantly more than its peers, and slows down by what callers feel.
+// The generic types with the policies that are used in production. A maintenance
+// wave stops when the instances that it has touched fail significantly more often
+// than their peers, and slows down when callers are affected.
 type (
 	diskStore         = store.Store[codec.Codec, store.OSFileSystem]
 	fleetMover        = mover.Mover[*groupMember, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
@@ -35,13 +36,17 @@
 	membershipManager = boot.MembershipManager[*peers.Client, *groupMember]
 )
 
-// Pressure in permille at which waves slow down and halt, and the score at
-// which a wave stops.
+// Limits of maintenance waves.
 const (
+	// slowPressurePermille and haltPressurePermille are the pressures at which a
+	// wave slows down and at which it starts no more maintenance.
 	slowPressurePermille = 60
 	haltPressurePermille = 200
-	waveStopZ            = 4
-	waveStopMinFailures  = 3
+	// waveStopZ is the difference from the failure rate of the peers, in standard
+	// errors, above which a wave stops, and waveStopMinFailures the number of
+	// failures below which the rates are not compared.
+	waveStopZ           = 4
+	waveStopMinFailures = 3
 )
 
 // Control is a running control process.
@@ -58,19 +63,19 @@
 	membership *membershipManager
 	// jobs is nil in a process that runs no jobs.
 	jobs *JobsRunner
-	// commitMillis takes the time of each commit of the runner.
+	// commitMillis holds the duration of each commit of the job runner, in ms.
 	commitMillis metrics.Histogram
-	// droppedLogLines counts the lines of the log that were dropped.
+	// droppedLogLines returns the number of dropped log lines.
 	droppedLogLines func() int64
 }
 
-// RunControl runs a control process until a signal stops it.
+// RunControl runs a control process until a signal stops it, and writes its log
+// to out.
 func RunControl(cfg conf.Control, out io.Writer) error {
 	return RunJobsControl(cfg, JobsOptions{}, out)
 }
 
-// RunJobsControl runs a control process that also runs jobs, as far as the
-// options ask for it, until a signal stops it.
+// RunJobsControl is like RunControl but also schedules jobs if o.Address is set.
 func RunJobsControl(cfg conf.Control, o JobsOptions, out io.Writer) error {
 	async := logs.NewAsync(out, clock.Real())
 	defer async.Close()
@@ -142,7 +147,8 @@
 
 func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
-// newSurgePlanner prefers what the operator gives the most weight to.
+// newSurgePlanner returns a surge planner with the weights of the operator's
+// preference.
 func newSurgePlanner(cfg conf.Control) *mover.SurgePlanner[plan.Cheapest] {
 	w := plan.RolloutFirst()
 	if cfg.SurgePreference == "buffer-cost" {
@@ -160,14 +166,15 @@
 	return s
 }
 
-// record adds an event to the time line and logs it when it is a change of
-// state.
+// record adds an event to the event log, and writes it to the process log if it
+// is a state change.
 func (c *Control) record(e model.Event) {
 	c.recorder.Record(e)
 	logs.Event(c.log, e)
 }
 
-// serve listens and adds all parts in the order in which they stop.
+// serve opens the listeners and adds all components in the order in which they
+// stop.
 func (c *Control) serve(g *run.Group) error {
 	l, err := listen("peers", c.cfg.Listen.Peers)
 	if err != nil {
@@ -186,7 +193,7 @@
 		return c.recorder.Events(since), c.recorder.Counts().Dropped
 	}}
 	consensusServer := &peers.ConsensusServer[*groupMember]{Group: c.member, Stamps: c.recorder}
-	// Without entry processes that report there is nothing to move.
+	// If no entry processes are configured, there are no instances to move.
 	if len(c.cfg.Entries) > 0 {
 		addComponent(g, c.mover)
 	}
@@ -206,7 +213,7 @@
 	}
 }
 
-// notReady is the reason why this process takes no part in the group yet.
+// notReady returns why the process is not ready. It is empty if it is ready.
 func (c *Control) notReady() string {
 	if c.member.Status().Leader.ID == 0 {
 		return "no leader is known"
--- a/io/trans/roles/counters.go
+++ b/io/trans/roles/counters.go
@@ -6,14 +6,15 @@
 	"camphorridge/io/trans/admin"
 )
 
-// counter is a counter that a part keeps by itself.
+// counter is a metric whose value a component keeps itself.
 type counter struct {
 	name  string
 	value func() int64
 }
 
-// registerCounters registers registerCounters. Their names are constants of this package, so
-// a clash is a programming error that the first scrape of a test shows.
+// registerCounters registers counters. It panics if a name is registered already:
+// the names are constants of this package, so that is a programming error, which
+// any test that starts the role shows.
 func registerCounters(r metrics.Registry, all []counter) {
 	for _, c := range all {
 		if err := admin.RegisterCounter(r, c.name, c.value); err != nil {
--- a/io/trans/roles/doc.go
+++ b/io/trans/roles/doc.go
@@ -1,3 +1,4 @@
-// Package roles wires the duties and servers of a server role together and
-// runs them under oklog/run until a signal asks for a graceful stop.
+// Package roles assembles the components of each server role (control process,
+// entry process, entry process for submitters) and runs them under oklog/run
+// until a signal requests a graceful stop.
 package roles
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -31,19 +31,20 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// eventRingCapacity holds the dispatcher's events on their way to the recorder.
+// eventRingCapacity is the number of the dispatcher's events that can wait for the
+// recorder.
 const eventRingCapacity = 1024
 
-// loanMessageRingCapacity holds the messages about loans on their way out; there are at most
-// two for each entry process.
+// loanMessageRingCapacity is the number of messages about loans that can wait to be
+// sent. There are at most two for each entry process.
 const loanMessageRingCapacity = 1024
 
-// lameDuckTime is the time between the first sign of a stop, a failing readiness
-// check and responses with "Connection: close", and the close of the listener.
-// The balancer and callers with open connections go elsewhere meanwhile.
+// lameDuckTime is how long a stopping process still accepts connections while its
+// readiness check fails and its responses have "Connection: close". In this time
+// the load balancer and callers with open connections move to other processes.
 const lameDuckTime = clock.Second
 
-// dispatcher is the dispatcher with the policies of the product.
+// dispatcher is the dispatcher with the policies that are used in production.
 type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
 // Entry is a running entry process.
@@ -66,7 +67,8 @@
 	leaving  atomic.Bool
 }
 
-// RunEntry runs an entry process until a signal stops it.
+// RunEntry runs an entry process until a signal stops it, and writes its log to
+// out.
 func RunEntry(cfg conf.Entry, out io.Writer) error {
 	async := logs.NewAsync(out, clock.Real())
 	defer async.Close()
@@ -117,6 +119,8 @@
 	return e
 }
 
+// memberOf returns the member with the given name. If there is none, it returns a
+// member that has only the name.
 func memberOf(all []model.Member, name model.Process) model.Member {
 	for _, m := range all {
 		if m.Name == name {
@@ -136,7 +140,8 @@
 	return s
 }
 
-// applyDelta puts a delta in force and adds the new version to the time line.
+// applyDelta applies a delta to the dispatcher's table and records the new
+// version in the event log.
 func (e *Entry) applyDelta(d model.Delta) error {
 	if err := e.dispatch.ApplyDelta(d); err != nil {
 		return err
@@ -153,7 +158,8 @@
 	}
 }
 
-// announce takes an announcement from an upstream itself.
+// announce handles an announcement that comes directly from an upstream, and
+// forwards it to the other entry processes of the zone.
 func (e *Entry) announce(a model.Announcement) (peers.Announced, error) {
 	if err := e.dispatch.Announce(a); err != nil {
 		return peers.Announced{}, err
@@ -166,6 +172,9 @@
 	return got, nil
 }
 
+// tableAfter returns what a neighbour at version from needs for the current table:
+// an empty delta if it is up to date, otherwise the whole table. ok is false if
+// this process has no table yet.
 func (e *Entry) tableAfter(from model.Version) (model.Delta, bool) {
 	v := e.poller.Version()
 	if v == 0 || from >= v {
@@ -174,8 +183,9 @@
 	return fullDelta(e.dispatch.Table()), true
 }
 
-// serve listens and adds all parts in the order in which they stop: callers
-// first, then the duties that requests in flight need.
+// serve opens the listeners and adds all components in the order in which they
+// stop: the server for callers first, then the components that requests in flight
+// need.
 func (e *Entry) serve(g *run.Group) error {
 	callers, err := listen("callers", e.cfg.Listen.Callers)
 	if err != nil {
@@ -209,7 +219,8 @@
 	return nil
 }
 
-// peerStopTimeout bounds the stop of the servers for other processes.
+// peerStopTimeout is the maximum time that a server for other processes waits for
+// open requests when it stops.
 const peerStopTimeout = 2 * clock.Second
 
 func (e *Entry) addCallers(g *run.Group, l net.Listener) {
@@ -224,8 +235,8 @@
 	})
 }
 
-// closeWhenLeaving tells callers to open new connections elsewhere once the process is
-// stopping.
+// closeWhenLeaving closes the connections of callers after their next response once
+// the process is stopping, so that they connect to other processes.
 func (e *Entry) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.leaving.Load() {
@@ -239,8 +250,8 @@
 	return &peers.NeighbourServer{
 		TableAfter: e.tableAfter,
 		Hear: func(a model.Announcement) {
-			// A refused announcement was refused to the upstream itself as well, or
-			// was overtaken by a newer one.
+			// An error needs no handling: the process that received the announcement
+			// from the upstream rejected it as well, or a newer one has arrived.
 			_ = e.dispatch.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a})
 		},
 		Lender: e.dispatch,
@@ -254,8 +265,8 @@
 	}}
 }
 
-// notReady is the reason why the balancer should send no requests; empty when
-// it may.
+// notReady returns why the load balancer should send no requests to the process.
+// It is empty if the process is ready.
 func (e *Entry) notReady() string {
 	switch {
 	case e.leaving.Load():
@@ -274,14 +285,14 @@
 	}
 }
 
-// record adds an event to the time line and logs it when it is a change of
-// state.
+// record adds an event to the event log, and writes it to the process log if it
+// is a state change.
 func (e *Entry) record(ev model.Event) {
 	e.recorder.Record(ev)
 	logs.Event(e.log, ev)
 }
 
-// newMetrics registers the counters that the parts keep.
+// newMetrics returns a registry with the metrics of all components.
 func (e *Entry) newMetrics() metrics.Registry {
 	r := metrics.NewRegistry()
 	registerCounters(r, []counter{
--- a/io/trans/roles/events.go
+++ b/io/trans/roles/events.go
@@ -6,7 +6,7 @@
 	"camphorridge/core/state/ring"
 )
 
-// eventForwarder is the duty that passes events from a ring on to the recorder.
+// eventForwarder is the component that passes events from a ring to the recorder.
 type eventForwarder struct {
 	in     *ring.Ring[model.Event]
 	record func(model.Event)
@@ -17,7 +17,7 @@
 	return &eventForwarder{in: in, record: record, done: make(chan struct{})}
 }
 
-// Run passes events on until Stop.
+// Run passes events to the recorder until Stop is called.
 func (f *eventForwarder) Run() error {
 	for {
 		select {
@@ -29,9 +29,10 @@
 	}
 }
 
-// Stop ends Run.
+// Stop ends Run. It must be called at most once.
 func (f *eventForwarder) Stop() { close(f.done) }
 
+// fullDelta returns a delta that contains the whole table.
 func fullDelta(t model.Table) model.Delta {
 	return fleet.FullDelta(t.Version, t.Contracts, t.Instances)
 }
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -13,19 +13,22 @@
 	"camphorridge/io/proto/codec"
 )
 
-// consensusGroup is the consensusGroup duty with the product's storage and codec.
+// consensusGroup is a member of the control group with the storage and codec that
+// are used in production.
 type consensusGroup = group.Group[*diskStore, codec.Codec]
 
-// Sizes of consensus messages, and the entries kept in memory behind a
-// snapshot for members that lag a little.
 const (
+	// maxAppendBytes is the maximum size of the entries in one Raft message, and
+	// snapshotChunkBytes that of one part of a snapshot.
 	maxAppendBytes     = 512 << 10
 	snapshotChunkBytes = 256 << 10
-	keptEntries        = 1000
+	// keptEntries is the number of log entries before the snapshot that are kept in
+	// memory, so that a member that lags slightly doesn't need the snapshot.
+	keptEntries = 1000
 )
 
-// groupRunner is the duty that forms or joins the group and then runs the
-// consensus duty.
+// groupRunner is the component that forms or joins the control group and then runs
+// this process's member of it.
 type groupRunner struct {
 	ctrl *Control
 	done chan struct{}
@@ -33,7 +36,7 @@
 
 func newGroupRunner(c *Control) *groupRunner { return &groupRunner{ctrl: c, done: make(chan struct{})} }
 
-// Run forms or joins the group and drives consensus until Stop.
+// Run forms or joins the group and runs the member until Stop is called.
 func (f *groupRunner) Run() error {
 	c := f.ctrl
 	stored := c.disk.Stored()
@@ -47,7 +50,8 @@
 				return err
 			}
 		case boot.PlanJoin:
-			// Replies to the leader must find it before the member list is known.
+			// This process must be able to reply to the leader before it has the
+			// member list.
 			c.senders.Members(members)
 			c.record(model.Event{Kind: model.EventRole, Detail: "waits to be added to the group"})
 		}
@@ -61,7 +65,7 @@
 	return f.runConsensus(d)
 }
 
-// runConsensus runs the duty until Stop.
+// runConsensus runs the group member until Stop is called.
 func (f *groupRunner) runConsensus(d *consensusGroup) error {
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run() }()
@@ -75,15 +79,15 @@
 	}
 }
 
-// Stop ends Run.
+// Stop ends Run. It must be called at most once.
 func (f *groupRunner) Stop() { close(f.done) }
 
-// initialIndex is the index of the snapshot that every member of a new group
-// writes by itself: the empty state and the first member list.
+// initialIndex is the index and the term of the snapshot that every member of a new
+// group writes independently: the empty state and the initial member list.
 const initialIndex = 1
 
-// formGroup writes the first snapshot. The term starts at that of the snapshot, so
-// that the first leader's term is above it.
+// formGroup writes the initial snapshot. The member's term is that of the snapshot,
+// so that the term of the first leader is higher.
 func (f *groupRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
 	stored.Snapshot = raft.SnapshotMeta{Index: initialIndex, Term: initialIndex, Members: members}
 	stored.Hard = raft.HardState{Term: initialIndex, Commit: initialIndex}
@@ -100,12 +104,14 @@
 	return nil
 }
 
-// Sizes of the consensus duty.
 const (
+	// consensusTickInterval is the interval of the Raft clock.
 	consensusTickInterval clock.Millis = 50
-	consensusRingCapacity              = 4096
-	maxPendingProposals                = 4096
-	diskRetryDelay        clock.Millis = 500
+	// consensusRingCapacity is the number of inputs that can wait for the event loop.
+	consensusRingCapacity = 4096
+	maxPendingProposals   = 4096
+	// diskRetryDelay is the time after which a failed write is tried again.
+	diskRetryDelay clock.Millis = 500
 )
 
 func (f *groupRunner) groupConfig() group.Config {
@@ -124,7 +130,8 @@
 	}
 }
 
-// observe adds changes of role and disk to the time line. The duty calls it.
+// observe records changes of the role, the term and the state of the disk in the
+// event log. The event loop of the group calls it.
 func (f *groupRunner) observe(s group.Status) {
 	before := f.ctrl.member.lastStatus.Load()
 	f.ctrl.member.updateStatus(s)
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -17,43 +17,46 @@
 	"camphorridge/io/trans/peers"
 )
 
-// minQuarantineScore is the evidence from which a worker is set aside: the log of
-// how much likelier a broken worker explains its failures.
+// minQuarantineScore is the score at which a worker is quarantined: the logarithm
+// of how much more likely a broken worker explains its failures.
 const minQuarantineScore = 3
 
-// JobsRunner is the runner with the policies of the product.
+// JobsRunner is the job runner with the policies that are used in production.
 type JobsRunner = runner.Runner[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
-// JobsOptions says how a control process runs jobs.
+// JobsOptions configures how a control process runs jobs.
 type JobsOptions struct {
-	// Address is the address for workers and operators; empty for a process
-	// that runs no jobs.
+	// Address is the address to listen on for workers and operators. If it is empty,
+	// the process runs no jobs.
 	Address string
-	// Handler makes the handler for that address.
+	// Handler returns the HTTP handler for Address.
 	Handler  func(JobsService) http.Handler
 	Settings sched.Settings
+	// Machines changes the machines of the platform; it may be nil.
 	Machines runner.Machines
-	// Reload reads the control processes from the settings anew.
+	// Reload reads the control processes from the settings again.
 	Reload func() ([]model.Member, error)
 }
 
-// JobsService is what an adapter for workers and operators works with.
+// JobsService is what the HTTP handler for workers and operators uses.
 type JobsService struct {
 	Runner *JobsRunner
-	// Leader names the known leader, empty for none, and tells whether it is
-	// this process.
+	// Leader returns the name of the leader, empty if none is known, and whether
+	// this process is the leader.
 	Leader func() (name model.Process, here bool)
 	Log    *log.Logger
 }
 
-// noMachines stands for a platform without an interface to machines.
+// noMachines is used on a platform that has no interface for machines. It refuses
+// every action.
 type noMachines struct{}
 
 func (noMachines) Do(context.Context, runner.MachineAction) sched.Outcome {
 	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
-// serveJobs adds the runner and the server for workers and operators.
+// serveJobs adds the job runner and the server for workers and operators. It does
+// nothing if the process runs no jobs.
 func (c *Control) serveJobs(g *run.Group, o JobsOptions) error {
 	if o.Address == "" {
 		return nil
@@ -84,7 +87,7 @@
 	return s.Leader.Name, here
 }
 
-// jobMetrics registers what the runner counts.
+// jobMetrics registers the metrics of the job runner.
 func (c *Control) jobMetrics(r metrics.Registry) {
 	if c.jobs == nil {
 		return
@@ -105,7 +108,8 @@
 	})
 }
 
-// workServer serves submitters' calls; nil in a process that runs no jobs.
+// workServer returns the server for submitters' calls, or nil if the process runs
+// no jobs.
 func (c *Control) workServer(s *peers.ControlServer[*groupMember, *fleetMover]) wirepb.Work {
 	if c.jobs == nil {
 		return nil
@@ -113,8 +117,8 @@
 	return peers.WorkServer[*JobsRunner]{Worker: c.jobs, Stamps: c.recorder, Leader: s.Leader}
 }
 
-// logDecisions writes a line for each decision that changes what the process
-// believes of a run or a worker; starts are counted only.
+// logDecisions logs each decision of the scheduler about a job, a run or a worker.
+// Started runs are only counted, not logged.
 func (c *Control) logDecisions(all []sched.Note) {
 	for _, n := range all {
 		level := log.InfoLevel
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -15,8 +15,8 @@
 	"camphorridge/io/trans/logs"
 )
 
-// TestNoteLines guards against lines of decisions that lose their job, their
-// worker or their level: those who follow a complaint search for them.
+// TestNoteLines guards against log lines of decisions without the job, the worker
+// or the right level. Operators who investigate a complaint search for these.
 func TestNoteLines(t *testing.T) {
 	var out bytes.Buffer
 	l, err := logs.New(&out, logs.Settings{Level: "info", Process: "c1", Zone: "zone-a"}, clock.NewFake(1_796_382_000_123).Clock())
@@ -33,8 +33,8 @@
 	golden.Assert(t, out.String(), "note-lines.txt")
 }
 
-// TestDecisionsAreExplained guards against lines that the operators' page does
-// not know.
+// TestDecisionsAreExplained guards against decisions in the log that the operators'
+// page doesn't explain.
 func TestDecisionsAreExplained(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
--- a/io/trans/roles/latency.go
+++ b/io/trans/roles/latency.go
@@ -10,8 +10,8 @@
 	"camphorridge/io/trans/admin"
 )
 
-// timedDispatcher measures the waits and the run times of the requests that pass
-// through the dispatcher.
+// timedDispatcher is a dispatcher that measures how long requests wait for it and
+// how long upstreams take.
 type timedDispatcher struct {
 	*dispatcher
 	clock         clock.Clock
@@ -23,7 +23,8 @@
 	return &timedDispatcher{dispatcher: d, clock: c, waitMillis: admin.NewHistogram(), elapsedMillis: admin.NewHistogram()}
 }
 
-// Ask measures the time until a request is granted or refused, in ms.
+// Ask calls the dispatcher's Ask and records the time until the request is granted
+// or refused.
 func (t *timedDispatcher) Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
 	began := t.clock.Now()
 	g, f := t.dispatcher.Ask(ctx, r)
@@ -31,7 +32,7 @@
 	return g, f
 }
 
-// Done measures the time that an upstream took, in ms.
+// Done records the time that the upstream took, and calls the dispatcher's Done.
 func (t *timedDispatcher) Done(id entry.Ticket, o entry.Outcome, elapsed clock.Millis) {
 	t.elapsedMillis.Update(int64(elapsed))
 	t.dispatcher.Done(id, o, elapsed)
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -16,19 +16,21 @@
 	"camphorridge/io/trans/peers"
 )
 
-// statusTimeout bounds a question to the consensus duty.
+// statusTimeout is the maximum time to wait for the status of the consensus group.
 const statusTimeout = clock.Second
 
-// groupMember is the consensus duty as the servers and the mover see it. Until the
-// group is formed it answers who this process is and refuses everything else.
+// groupMember is this process's member of the control group as the servers and the
+// mover use it. Until the group has been formed or joined, it can only answer Hello;
+// all other calls fail.
 type groupMember struct {
 	self    boot.Hello
 	senders *peers.Senders
-	// lastStatus is the duty's latest report; nil before the first.
+	// lastStatus is the latest status; nil before the first.
 	lastStatus atomic.Pointer[group.Status]
-	// onStatus, when set, is called after each report; it must not wait.
-	onStatus  func()
-	mu        sync.Mutex
+	// onStatus, if set, is called after each update of the status; it must not block.
+	onStatus func()
+	mu       sync.Mutex
+	// consensus is nil until the group has been formed or joined.
 	consensus *consensusGroup
 }
 
@@ -49,8 +51,8 @@
 	return m.consensus, nil
 }
 
-// updateStatus takes a report of the duty, which calls it after each change of
-// role, term or leader.
+// updateStatus stores a new status. The event loop of the group calls it after each
+// change of role, term or leader.
 func (m *groupMember) updateStatus(s group.Status) {
 	m.lastStatus.Store(&s)
 	m.senders.Members(s.Members)
@@ -59,7 +61,8 @@
 	}
 }
 
-// queryStatus asks the duty for a report; the zero report stands for no answer.
+// queryStatus returns the current status. It returns the zero status if there is no
+// answer within statusTimeout.
 func (m *groupMember) queryStatus(ctx context.Context) group.Status {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -75,7 +78,8 @@
 	return s
 }
 
-// Refresh makes the members' addresses known to the senders.
+// Refresh passes the addresses of the members to the senders and returns this
+// process's view of the group.
 func (m *groupMember) Refresh(ctx context.Context) boot.View {
 	s := m.queryStatus(ctx)
 	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
@@ -87,7 +91,7 @@
 	return v
 }
 
-// Remove removes a member.
+// Remove removes a member; only the leader can.
 func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -96,7 +100,7 @@
 	return d.Remove(ctx, id)
 }
 
-// Join adds a member.
+// Join adds a member; only the leader can.
 func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -108,8 +112,8 @@
 	return err
 }
 
-// Hello says who this process is. It counts as initialised once it has a
-// member list.
+// Hello describes this process to the other control processes. It counts as
+// initialised once it has a member list.
 func (m *groupMember) Hello() boot.Hello {
 	h := m.self
 	members := m.queryStatus(context.Background()).Members
@@ -123,7 +127,8 @@
 	return h
 }
 
-// Propose hands a change to the group.
+// Propose proposes a change and returns its result once it is applied. If this
+// process doesn't lead, the error is a notLeading.
 func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -133,7 +138,8 @@
 	return r, asNotLeading(err)
 }
 
-// Read returns once a read that starts now may be answered.
+// Read returns once a subsequent Query is certain to observe every change that was
+// acknowledged before the call. If this process doesn't lead, the error is a notLeading.
 func (m *groupMember) Read(ctx context.Context) error {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -142,7 +148,8 @@
 	return asNotLeading(d.ReadBarrier(ctx))
 }
 
-// Query runs f on the replicated state.
+// Query calls f with the state as applied on this member. f must neither modify nor
+// keep the state.
 func (m *groupMember) Query(ctx context.Context, f func(*fleet.State)) error {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -151,7 +158,8 @@
 	return d.Query(ctx, f)
 }
 
-// Await returns once the table's version is above v or ctx has ended.
+// Await returns once the table's version is above v, the group stops, or ctx is
+// done.
 func (m *groupMember) Await(ctx context.Context, v model.Version) {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -169,7 +177,7 @@
 	}
 }
 
-// Step passes messages of other members on.
+// Step passes messages of other members to the group.
 func (m *groupMember) Step(all []raft.Message) error {
 	d, err := m.getConsensus()
 	if err != nil {
@@ -179,8 +187,7 @@
 	return nil
 }
 
-// Status is the state of consensus in this process, as of the duty's latest
-// report.
+// Status returns the role, term and leader as of the latest status update.
 func (m *groupMember) Status() peers.GroupStatus {
 	s := m.lastStatus.Load()
 	if s == nil {
@@ -189,13 +196,14 @@
 	return peers.GroupStatus{Role: s.Role, Term: s.Term, Leader: s.Leader}
 }
 
-// Leads reports whether this process leads and in which term.
+// Leads returns the term and whether this process leads, as of the latest status
+// update.
 func (m *groupMember) Leads() (uint64, bool) {
 	s := m.Status()
 	return s.Term, s.Role == raft.RoleLeader
 }
 
-// NotApplied reports whether an error of Propose says that the change was not and
+// NotApplied reports whether an error of Propose means that the change was not and
 // will not be applied.
 func (m *groupMember) NotApplied(err error) bool {
 	var n notLeading
@@ -203,18 +211,20 @@
 	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
 }
 
-// notLeading says that this process does not lead and which one does.
+// notLeading is the error of a call that only the leader can answer. It names the
+// leader.
 type notLeading struct{ leader raft.Member }
 
 func (e notLeading) Error() string { return "this member is not the leader" }
 
-// KnownLeader names the leader; empty when unknown.
+// KnownLeader returns the name and address of the leader, or empty strings if it
+// is unknown.
 func (e notLeading) KnownLeader() (name, address string) {
 	return string(e.leader.Name), e.leader.Address
 }
 
-// asNotLeading turns the error of a member that does not lead into one that names
-// the leader.
+// asNotLeading converts a group error of kind KindNotLeader to a notLeading and
+// returns other errors unchanged.
 func asNotLeading(err error) error {
 	var e *group.Error
 	if errors.As(err, &e) && e.Kind == group.KindNotLeader {
--- a/io/trans/roles/platform.go
+++ b/io/trans/roles/platform.go
@@ -12,10 +12,11 @@
 	"camphorridge/io/proto/conf"
 )
 
-// platformTimeout bounds one call to the platform.
+// platformTimeout is the timeout of one call to the platform.
 const platformTimeout = time.Second
 
-// platform calls the platform's HTTP interface in the instance's zone.
+// platform calls the HTTP interface of the platform in an instance's zone.
+// addresses holds the interface's host:port by zone.
 type platform struct {
 	addresses map[model.Zone]string
 	client    *http.Client
@@ -29,7 +30,9 @@
 	return p
 }
 
-// Reboot asks for a reboot and does not wait for its end.
+// Reboot asks the platform to reboot an instance and doesn't wait for the end of
+// the reboot. It returns an error if no platform is configured for the zone or if
+// the platform refuses.
 func (p *platform) Reboot(ctx context.Context, i model.Instance) error {
 	address, ok := p.addresses[i.Zone]
 	if !ok {
--- a/io/trans/roles/reload.go
+++ b/io/trans/roles/reload.go
@@ -12,17 +12,19 @@
 	"camphorridge/core/state/model"
 )
 
-// reloadInterval separates two looks at the settings, which may also change
-// without a signal.
+// reloadInterval is the interval at which the settings are read, because they can
+// change without a signal.
 const reloadInterval = 5 * clock.Second
 
-// reloader is the duty that takes changed addresses of control processes into
-// use: at SIGHUP, and when it finds the settings changed.
+// reloader is the component that applies changes of the list of control processes
+// in the settings. It reads the settings on SIGHUP and every reloadInterval.
 type reloader struct {
-	// load reads the control processes from the settings.
+	// load reads the control processes from the settings. If it is nil, nothing is
+	// ever reloaded.
 	load func() ([]model.Member, error)
-	// apply takes them into use; it must not wait.
-	apply   func([]model.Member)
+	// apply makes the process use changed control processes; it must not block.
+	apply func([]model.Member)
+	// applied holds the control processes that are in use.
 	applied []model.Member
 	clock   clock.Clock
 	log     *log.Logger
@@ -33,7 +35,7 @@
 	return &reloader{load: load, apply: apply, applied: first, clock: c, log: lg, done: make(chan struct{})}
 }
 
-// Run looks at the settings until Stop.
+// Run reloads the settings until Stop is called.
 func (r *reloader) Run() error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -50,10 +52,11 @@
 	}
 }
 
-// Stop ends Run.
+// Stop ends Run. It must be called at most once.
 func (r *reloader) Stop() { close(r.done) }
 
-// reload reads the settings; unusable ones change nothing.
+// reload reads the settings and applies them if they have changed. Invalid settings
+// are logged and change nothing. why is written to the log.
 func (r *reloader) reload(why string) {
 	if r.load == nil {
 		return
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -17,20 +17,20 @@
 	"camphorridge/core/state/clock"
 )
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // The kinds of error.
 const (
 	// KindListen means that an address could not be listened on.
 	KindListen Kind = iota
-	// KindStore means that the data folder could not be opened.
+	// KindStore means that an operation on the data folder failed.
 	KindStore
-	// KindServe means that a part of the process ended with an error.
+	// KindServe means that a component failed, or could not do what it was asked.
 	KindServe
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
@@ -42,23 +42,25 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// ExitForced is the exit status after a second signal.
+// ExitForced is the exit status when a second signal ends the process before its
+// graceful stop is complete.
 const ExitForced = 3
 
-// Component is a part of a process with one goroutine of its own.
+// Component is a part of a process that runs in its own goroutine. Run returns
+// after Stop is called, or with an error.
 type Component interface {
 	Run() error
 	Stop()
 }
 
-// addComponent adds a duty to the group. Parts are interrupted in the order in which
-// they were added, so that those that serve requests go first.
+// addComponent adds a component to the group. Components are stopped in the order in
+// which they were added, so those that serve requests must be added first.
 func addComponent(g *run.Group, d Component) {
 	g.Add(d.Run, func(error) { d.Stop() })
 }
 
-// addSignals ends the group at the first SIGTERM or SIGINT and the process at
-// the second one.
+// addSignals stops the group on the first SIGTERM or SIGINT, and exits the process
+// on the second.
 func addSignals(g *run.Group, lg *log.Logger) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -77,7 +79,8 @@
 	}, func(error) { close(done) })
 }
 
-// listen opens a TCP listener.
+// listen opens a TCP listener. what describes who connects to it and is used in
+// the error.
 func listen(what, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -86,14 +89,15 @@
 	return l, nil
 }
 
-// Bounds of the servers for other processes.
+// Timeouts of the servers for other processes.
 const (
 	readHeaderTimeout = 5 * time.Second
 	peerIdleTimeout   = 60 * time.Second
 )
 
-// addServer adds an HTTP server that stops gracefully within the bound.
-func addServer(g *run.Group, l net.Listener, h http.Handler, bound clock.Millis) {
+// addServer adds an HTTP server. When it is stopped, it waits for open requests, at
+// most for stopTimeout.
+func addServer(g *run.Group, l net.Listener, h http.Handler, stopTimeout clock.Millis) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	g.Add(func() error {
 		err := s.Serve(l)
@@ -102,7 +106,7 @@
 		}
 		return &Error{Op: "serve " + l.Addr().String(), Kind: KindServe, Err: err}
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), bound.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
 		defer cancel()
 		if s.Shutdown(ctx) != nil {
 			_ = s.Close()
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -21,27 +21,28 @@
 	"camphorridge/io/trans/peers"
 )
 
-// Times of an entry process for submitters.
+// Limits of an entry process for submitters.
 const (
-	// pingInterval separates two checks whether the leader can be reached, and
-	// pingAge is the age from which a good check no longer counts.
+	// pingInterval is the interval at which the process checks whether it can reach
+	// the leader, and maxPingAge how long a successful check keeps it ready.
 	pingInterval = 500 * clock.Millis(1)
 	maxPingAge   = 1800 * clock.Millis(1)
-	// leaderTimeout bounds the search for a leader in one call. An election takes
-	// one to two seconds, and a caller who is refused early can come back in
-	// time.
+	// leaderTimeout is the maximum time of one attempt of a call. A call that was
+	// not executed is also refused after this time. An election
+	// takes one to two seconds; a caller that is refused before its own timeout still
+	// has time to retry.
 	leaderTimeout = 900 * clock.Millis(1)
-	// retryDelay separates two tries of one call.
+	// retryDelay is the time between two attempts of one call.
 	retryDelay = 100 * clock.Millis(1)
-	// submitLameDuckTime is the time between the first failing readiness check and
-	// the close of the listener: the balancer checks once a second and needs
-	// two misses.
+	// submitLameDuckTime is how long a stopping process still accepts connections
+	// while its readiness check fails. The load balancer checks once a second and
+	// removes a process after two failed checks.
 	submitLameDuckTime  = 2200 * clock.Millis(1)
 	submitDrainTimeout  = 2500 * clock.Millis(1)
 	submitEventCapacity = 1000
 )
 
-// SubmitOptions says how an entry process for submitters runs.
+// SubmitOptions configures an entry process for submitters.
 type SubmitOptions struct {
 	Name     model.Process
 	Zone     model.Zone
@@ -50,19 +51,19 @@
 	// checks.
 	FrontAddress string
 	ReadyAddress string
-	// Handler makes the handler for submitters, and ReadyHandler that for
+	// Handler returns the HTTP handler for submitters, and ReadyHandler the one for
 	// readiness checks.
 	Handler        func(SubmitService) http.Handler
 	ReadyHandler   func(SubmitService) http.Handler
 	MaxHeaderBytes int
-	// AdminAddress is the address for metrics.
+	// AdminAddress is the address for metrics, health and events.
 	AdminAddress string
-	// Reload reads the control processes from the settings anew.
+	// Reload reads the control processes from the settings again.
 	Reload   func() ([]model.Member, error)
 	LogLevel string
 }
 
-// SubmitService is what an adapter for submitters works with.
+// SubmitService is what the HTTP handlers for submitters and readiness checks use.
 type SubmitService struct {
 	leader   *peers.Leader
 	clock    clock.Clock
@@ -72,15 +73,16 @@
 	stats    *submitStats
 }
 
-// submitStats counts what callers were answered.
+// submitStats holds the statistics of the calls of submitters.
 type submitStats struct {
-	// answers counts by kind of answer.
+	// answers holds the number of answers by kind.
 	answers [runner.AnswerOutcomeUnknown + 1]atomic.Int64
-	// callMillis takes the time of each call.
+	// callMillis holds the duration of each call, in ms.
 	callMillis metrics.Histogram
 }
 
-// newMetrics returns the metrics of the process.
+// newMetrics returns a registry with the metrics of the process. dropped returns the
+// number of dropped log lines.
 func (s SubmitService) newMetrics(client *peers.Client, dropped func() int64) metrics.Registry {
 	r := metrics.NewRegistry()
 	for kind := range s.stats.answers {
@@ -92,10 +94,11 @@
 	return r
 }
 
-// Call hands a call to the leader. The answer tells whether the call may have
-// been carried out. A call that may have been is handed in again as long as
-// the caller waits: it is idempotent, and only a definite answer helps the
-// caller. One that was not is refused soon, so that the caller can come back.
+// Call forwards a call to the leader. The kind of the answer says whether the call
+// may have been executed. A call that may have been executed is sent again until
+// ctx is done: calls are idempotent, and only a definite answer helps the caller. A
+// call that was certainly not executed is refused after leaderTimeout, so that the
+// caller can retry in time.
 func (s SubmitService) Call(ctx context.Context, c runner.Call) runner.Answer {
 	began := s.clock.Now()
 	a := s.call(ctx, c, began+leaderTimeout)
@@ -104,7 +107,9 @@
 	return a
 }
 
-func (s SubmitService) call(ctx context.Context, c runner.Call, soon clock.Millis) runner.Answer {
+// call sends a call until there is a definite answer or ctx is done. If no attempt
+// can have been executed, it gives up at refuseAt.
+func (s SubmitService) call(ctx context.Context, c runner.Call, refuseAt clock.Millis) runner.Answer {
 	uncertain := false
 	for {
 		a := s.try(ctx, c)
@@ -113,7 +118,7 @@
 		if !open {
 			return a
 		}
-		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= soon) {
+		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= refuseAt) {
 			if uncertain {
 				a.Kind = runner.AnswerOutcomeUnknown
 			}
@@ -126,7 +131,7 @@
 	}
 }
 
-// try hands a call to the leader once.
+// try sends a call to the leader once.
 func (s SubmitService) try(ctx context.Context, c runner.Call) runner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout.Duration())
 	defer cancel()
@@ -140,13 +145,13 @@
 	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingInterval, Reason: err.Error()}
 }
 
-// Ready reports whether new callers are welcome: the leader was reached lately
-// and the process is not stopping.
+// Ready reports whether the process accepts new callers: it reached the leader
+// within the last maxPingAge and is not stopping.
 func (s SubmitService) Ready() bool {
 	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.lastPing.Load()) < maxPingAge
 }
 
-// notReady is the reason why new callers are not welcome; empty when they are.
+// notReady returns why the process accepts no new callers. It is empty if it does.
 func (s SubmitService) notReady() string {
 	if s.Ready() {
 		return ""
@@ -157,7 +162,8 @@
 // Leaving reports whether the process is stopping.
 func (s SubmitService) Leaving() bool { return s.leaving.Load() }
 
-// RunSubmit runs an entry process for submitters until a signal stops it.
+// RunSubmit runs an entry process for submitters until a signal stops it, and writes
+// its log to out.
 func RunSubmit(o SubmitOptions, out io.Writer) error {
 	clk := clock.Real()
 	async := logs.NewAsync(out, clk)
@@ -202,8 +208,9 @@
 	return err
 }
 
-// addCallers adds the server for submitters. It stops in three steps: the
-// readiness check fails, the listener closes, open requests end.
+// addCallers adds the server for submitters. It stops in three steps: the readiness
+// check fails for submitLameDuckTime, the listener closes, and open requests finish
+// within submitDrainTimeout.
 func (s SubmitService) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
 	h := o.Handler(s)
 	server := front.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -221,16 +228,18 @@
 	})
 }
 
-// pinger is the duty that checks whether the leader can be reached.
+// pinger is the component that checks whether the leader can be reached, every
+// pingInterval.
 type pinger struct {
 	submitter SubmitService
 	done      chan struct{}
 }
 
-// Run checks until Stop.
+// Run checks until Stop is called.
 func (p *pinger) Run() error {
-	// The readiness also ends by age, between two checks.
-	was := false
+	// Ready can also become false between two checks, when the last successful one is
+	// too old; the log shows that at the next check.
+	wasReady := false
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
 		a, err := p.submitter.leader.Work(ctx, runner.Call{Kind: runner.CallPing})
@@ -238,9 +247,9 @@
 		if err == nil && a.Kind == runner.AnswerDone {
 			p.submitter.lastPing.Store(int64(p.submitter.clock.Now()))
 		}
-		if is := p.submitter.Ready(); is != was {
-			p.submitter.Log.Info("readiness-changed", "ready", is, "err", err, "reason", a.Reason)
-			was = is
+		if ready := p.submitter.Ready(); ready != wasReady {
+			p.submitter.Log.Info("readiness-changed", "ready", ready, "err", err, "reason", a.Reason)
+			wasReady = ready
 		}
 		select {
 		case <-p.submitter.clock.After(pingInterval):
@@ -250,5 +259,5 @@
 	}
 }
 
-// Stop ends Run.
+// Stop ends Run. It must be called at most once.
 func (p *pinger) Stop() { close(p.done) }
--- a/io/trans/roles/usage.go
+++ b/io/trans/roles/usage.go
@@ -9,8 +9,8 @@
 	"camphorridge/io/trans/peers"
 )
 
-// processCounters lists what the process itself costs: processor time, resident memory
-// and the bytes of control traffic.
+// processCounters returns the counters of the resources that the process uses: CPU
+// time, resident memory and control traffic.
 func processCounters(t *peers.Traffic) []counter {
 	return []counter{
 		{"process-cpu-ms", cpuMillis},
@@ -20,7 +20,8 @@
 	}
 }
 
-// cpuMillis is the user and system time of the process.
+// cpuMillis returns the user and system CPU time of the process in ms, or 0 if it
+// is not available.
 func cpuMillis() int64 {
 	var r syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) != nil {
@@ -29,7 +30,8 @@
 	return (r.Utime.Nano() + r.Stime.Nano()) / 1e6
 }
 
-// residentBytes is 0 where the system does not tell.
+// residentBytes returns the resident memory of the process, or 0 if it is not
+// available.
 func residentBytes() int64 {
 	b, err := os.ReadFile("/proc/self/statm")
 	if err != nil {
