Word the messages of roles, cmds, admin and stand plainly

Messages such as 'name the file', 'by comma' and 'the disk fails' named neither the subject nor what is allowed, and help texts said identity and hand in.

--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -156,7 +156,7 @@
 	instance := r.URL.Query().Get("instance")
 	u := p.remove(instance)
 	if u == nil {
-		http.Error(w, "unknown or absent instance", http.StatusNotFound)
+		http.Error(w, "instance is unknown or down", http.StatusNotFound)
 		return
 	}
 	p.mu.Lock()
@@ -194,7 +194,7 @@
 func (p *Platform) handleLeave(w http.ResponseWriter, r *http.Request) {
 	u := p.Upstream(r.URL.Query().Get("instance"))
 	if u == nil {
-		http.Error(w, "unknown or absent instance", http.StatusNotFound)
+		http.Error(w, "instance is unknown or down", http.StatusNotFound)
 		return
 	}
 	u.Leave()
--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -35,7 +35,8 @@
 	generation int
 }
 
-// NewRelay returns a relay that listens at an address and forwards to target.
+// NewRelay returns a relay that listens at an address and forwards to target, in the
+// mode RelayForward. It returns an error if it can't listen.
 func NewRelay(listen, target string) (*Relay, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -79,12 +80,12 @@
 	r.generation++
 }
 
-// waitForward waits while the relay, or a connection of the given era, is silent and
-// reports whether to go on.
-func (r *Relay) waitForward(era int) bool {
+// waitForward waits while the relay, or a connection of the given generation, is
+// silent. It reports whether the connection can go on to forward.
+func (r *Relay) waitForward(generation int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.mode == RelaySilent || (era < r.generation && r.mode != RelayReset) {
+	for r.mode == RelaySilent || (generation < r.generation && r.mode != RelayReset) {
 		r.changed.Wait()
 	}
 	return r.mode == RelayForward
@@ -105,9 +106,9 @@
 	defer r.closeConn(c)
 	r.track(c)
 	r.mu.Lock()
-	era := r.generation
+	generation := r.generation
 	r.mu.Unlock()
-	if !r.waitForward(era) {
+	if !r.waitForward(generation) {
 		return
 	}
 	out, err := net.Dial("tcp", r.target)
@@ -117,26 +118,26 @@
 	defer r.closeConn(out)
 	r.track(out)
 	done := make(chan struct{}, 2)
-	go r.copy(out, c, era, done)
-	go r.copy(c, out, era, done)
+	go r.copy(out, c, generation, done)
+	go r.copy(c, out, generation, done)
 	<-done
 }
 
 // copy forwards data in one direction and signals its end on done.
-func (r *Relay) copy(to, from net.Conn, era int, done chan<- struct{}) {
+func (r *Relay) copy(to, from net.Conn, generation int, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			if !r.waitForward(era) {
+			if !r.waitForward(generation) {
 				return
 			}
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
 			}
 		}
-		if err == io.EOF && r.waitForward(era) {
+		if err == io.EOF && r.waitForward(generation) {
 			return
 		}
 		if err != nil {
--- a/io/trans/admin/stats.go
+++ b/io/trans/admin/stats.go
@@ -47,13 +47,13 @@
 func (f countFunc) Count() int64 { return f() }
 
 // Clear panics, because the counter is read-only.
-func (f countFunc) Clear() { panic("Clear called on a counter that a duty keeps") }
+func (f countFunc) Clear() { panic("Clear called on a read-only counter") }
 
 // Dec panics, because the counter is read-only.
-func (f countFunc) Dec(int64) { panic("Dec called on a counter that a duty keeps") }
+func (f countFunc) Dec(int64) { panic("Dec called on a read-only counter") }
 
 // Inc panics, because the counter is read-only.
-func (f countFunc) Inc(int64) { panic("Inc called on a counter that a duty keeps") }
+func (f countFunc) Inc(int64) { panic("Inc called on a read-only counter") }
 
 func (f countFunc) Snapshot() metrics.Counter {
 	n := f()
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -28,7 +28,7 @@
 	}
 	r, err := p.leader.Propose(p.ctx, c)
 	if err != nil {
-		return failedError("change", fmt.Errorf("it may or may not be accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
+		return failedError("change", fmt.Errorf("it may or may not have been accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
 	}
 	switch r.Kind {
 	case model.ResultConflict:
@@ -132,17 +132,17 @@
 func parseDeadline(s string, now clock.Millis) (clock.Millis, error) {
 	if d, err := time.ParseDuration(s); err == nil {
 		if d <= 0 {
-			return 0, fmt.Errorf("%q: want a time above 0", s)
+			return 0, fmt.Errorf("%q is not in the future; want a duration above 0", s)
 		}
 		return now + clock.FromDuration(d), nil
 	}
 	t, err := time.Parse(time.RFC3339, s)
 	if err != nil {
-		return 0, fmt.Errorf("%q: want a duration such as 36h or a time such as 2027-01-31T06:00:00Z", s)
+		return 0, fmt.Errorf("%q is not a deadline; want a duration such as 36h or a time such as 2027-01-31T06:00:00Z", s)
 	}
 	at := clock.Millis(t.UnixMilli())
 	if at <= now {
-		return 0, fmt.Errorf("%q: want a time in the future", s)
+		return 0, fmt.Errorf("%q is not in the future; want a later time", s)
 	}
 	return at, nil
 }
@@ -175,7 +175,7 @@
 			step := model.InstanceStep{Base: o.baseVersion(i.Version), Instance: next}
 			return propose(o, p, out, model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{step}})
 		}
-		return failedError("retire", fmt.Errorf("no instance %s", o.name))
+		return failedError("retire", fmt.Errorf("instance %s is not in the fleet", o.name))
 	})
 }
 
@@ -189,6 +189,6 @@
 				return propose(o, p, out, model.Change{Kind: model.ChangeProcessGone, Process: m.Name})
 			}
 		}
-		return failedError("gone", fmt.Errorf("no entry process %s in the settings", o.name))
+		return failedError("gone", fmt.Errorf("entry process %s is not in the settings of the control processes", o.name))
 	})
 }
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -192,13 +192,13 @@
 }
 
 func attachJobs(add addFunc, o *options) {
-	group := add(nil, "job", "hand in, look at, list or cancel jobs", nil)
-	submit := add(group, "submit", "hand in the job in a file; to hand it in again is harmless", submitJob)
+	group := add(nil, "job", "submit, show, list or cancel jobs", nil)
+	submit := add(group, "submit", "submit the job in a file; submitting it again is harmless", submitJob)
 	submit.AddPositionalValue(&o.file, "file", 1, true, "job file")
 	get := add(group, "get", "show the state of a job", getJob)
 	cancel := add(group, "cancel", "cancel a job", cancelJob)
 	for _, s := range []*flaggy.Subcommand{get, cancel} {
-		s.AddPositionalValue(&o.name, "id", 1, true, "identity of the job")
+		s.AddPositionalValue(&o.name, "id", 1, true, "ID of the job")
 	}
 	list := add(group, "list", "list the jobs that have not ended, the oldest first", listJobs)
 	list.String(&o.queue, "", "queue", "only the jobs of this queue")
@@ -213,20 +213,20 @@
 	explain.AddPositionalValue(&o.kind, "kind", 1, true, "customer, instance, request or job")
 	explain.AddPositionalValue(&o.name, "name", 2, true, "its name")
 	timeline := add(nil, "timeline", "show the events of all processes in causal order", showTimeline)
-	timeline.String(&o.html, "", "html", "write the time line as a page to this file")
+	timeline.String(&o.html, "", "html", "write the timeline as an HTML page to this file")
 	operatorFlags(o, status, measures, instances, explain, timeline)
 }
 
 func operatorFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
-		s.String(&o.control, "c", "control", "peers addresses of control processes, by comma; default is CAMPHORRIDGE_CONTROL")
+		s.String(&o.control, "c", "control", "peers addresses of control processes, separated by commas; default is CAMPHORRIDGE_CONTROL")
 		s.Bool(&o.json, "j", "json", "print JSON")
 	}
 }
 
 func changeFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
-		s.String(&o.request, "", "request", "identity of the change, to resend one whose answer was lost")
+		s.String(&o.request, "", "request", "ID of the change, to resend one whose answer was lost")
 		s.String(&o.author, "", "author", "who makes the change; default is USER")
 		s.Int(&o.base, "", "base", "version that the change is made against; default is the one in force")
 	}
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -25,7 +25,7 @@
 	case err != nil:
 		return failedError(op, err)
 	case a.Kind == runner.AnswerOutcomeUnknown:
-		return failedError(op, fmt.Errorf("it may be done, run the command again: %s", a.Reason))
+		return failedError(op, fmt.Errorf("the outcome is unknown, run the command again: %s", a.Reason))
 	case a.Kind != runner.AnswerDone:
 		return failedError(op, fmt.Errorf("%s: %s", a.Kind, a.Reason))
 	}
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -41,15 +41,17 @@
 	cancel context.CancelFunc
 }
 
+// newControlClient returns a client of the control processes that the operator has
+// given. The context of the client ends after commandTimeout; close must be called.
 func newControlClient(o *options) (*controlClient, error) {
 	if o.control == "" {
-		return nil, usageError("--control", errors.New("name the peers addresses of the control processes, or set CAMPHORRIDGE_CONTROL"))
+		return nil, usageError("--control", errors.New("no address of a control process is given; want ip:port of the peers listeners, separated by commas, here or in CAMPHORRIDGE_CONTROL"))
 	}
 	var members []model.Member
 	for _, a := range strings.Split(o.control, ",") {
 		a = strings.TrimSpace(a)
 		if _, err := netip.ParseAddrPort(a); err != nil {
-			return nil, usageError("--control", fmt.Errorf("%q: want ip:port, by comma", a))
+			return nil, usageError("--control", fmt.Errorf("%q is not an address; want ip:port, separated by commas", a))
 		}
 		members = append(members, model.Member{Address: a})
 	}
@@ -59,12 +61,13 @@
 	return &controlClient{client: c, leader: peers.NewLeader(c, members, clk), clock: clk, ctx: ctx, cancel: cancel}, nil
 }
 
+// close ends the client's context and closes its connections.
 func (p *controlClient) close() {
 	p.cancel()
 	p.client.Close()
 }
 
-// withOverview asks the leader for its withOverview and passes it on.
+// withOverview gets the leader's overview of the fleet and calls f with it.
 func withOverview(o *options, f func(p *controlClient, v peers.Overview) error) error {
 	p, err := newControlClient(o)
 	if err != nil {
@@ -110,8 +113,9 @@
 	})
 }
 
-// collectEvents asks every process for its collectEvents; those that do not answer are
-// named on the error output.
+// collectEvents returns the events of all processes in causal order. It reports
+// processes that don't answer, and those that have dropped events, on the standard
+// error.
 func (p *controlClient) collectEvents(v peers.Overview) []model.Event {
 	var lists [][]model.Event
 	for _, m := range append(append([]model.Member(nil), v.Controls...), v.Entries...) {
@@ -119,7 +123,7 @@
 		events, dropped, err := p.client.Events(ctx, m.Address)
 		cancel()
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "camphorridge: no events of %s: %v\n", m.Name, err)
+			fmt.Fprintf(os.Stderr, "camphorridge: cannot get the events of %s: %v\n", m.Name, err)
 			continue
 		}
 		if dropped > 0 {
@@ -173,18 +177,20 @@
 		case "request":
 			x = trail.ExplainRequest(objects, events, o.name)
 		default:
-			return usageError("explain", fmt.Errorf("%q: want customer, instance, request or job", o.kind))
+			return usageError("explain", fmt.Errorf("kind %q is unknown; want customer, instance, request or job", o.kind))
 		}
 		if err := report.Explain(out, o.format(), x); err != nil {
 			return failedError("explain", err)
 		}
 		if !x.Found {
-			return failedError("explain", errors.New("nothing is known of "+o.kind+" "+o.name))
+			return failedError("explain", errors.New("no object or event is known of "+o.kind+" "+o.name))
 		}
 		return nil
 	})
 }
 
+// currentState converts an overview to the state that package trail explains events
+// with.
 func currentState(v peers.Overview) trail.CurrentState {
 	x := trail.CurrentState{
 		Now:         v.Status.Now,
--- a/io/trans/cmds/roles.go
+++ b/io/trans/cmds/roles.go
@@ -37,7 +37,7 @@
 func loadFile[T any](file string, f func(string) (T, error)) (T, error) {
 	var none T
 	if file == "" {
-		return none, usageError("settings", errors.New("name the file"))
+		return none, usageError("settings", errors.New("no file is given; want the path of a file"))
 	}
 	v, err := f(file)
 	if err != nil {
@@ -58,7 +58,7 @@
 	case "job":
 		_, err = conf.LoadJob(o.file)
 	default:
-		err = fmt.Errorf("%q is no kind of file: want entry, control, contract or job", o.kind)
+		err = fmt.Errorf("kind %q is unknown; want entry, control, contract or job", o.kind)
 	}
 	if err != nil {
 		return usageError("check", err)
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -129,10 +129,10 @@
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
 		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
-			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " under a new identity"})
+			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " with a new member ID"})
 		},
 		Removed: func(id raft.MemberID) {
-			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which was not heard", id)})
+			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which did not answer", id)})
 		},
 	})
 	waves := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPressurePermille, HaltPermille: haltPressurePermille},
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -230,7 +230,7 @@
 		e.leaving.Store(true)
 		<-e.clock.After(lameDuckTime)
 		if err := s.Shutdown(e.cfg.Limits.DrainMillis); err != nil {
-			e.log.Error("requests were cut off", "err", err)
+			e.log.Error("requests were aborted at the stop", "err", err)
 		}
 	})
 }
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -53,7 +53,7 @@
 			// This process must be able to reply to the leader before it has the
 			// member list.
 			c.senders.Members(members)
-			c.record(model.Event{Kind: model.EventRole, Detail: "waits to be added to the group"})
+			c.record(model.Event{Kind: model.EventRole, Detail: "waiting to be added to the group"})
 		}
 	}
 	c.senders.Members(stored.Snapshot.Members)
@@ -142,6 +142,6 @@
 		})
 	}
 	if s.DiskError != "" && (before == nil || before.DiskError == "") {
-		f.ctrl.record(model.Event{Kind: model.EventRole, Detail: "the disk fails: " + s.DiskError})
+		f.ctrl.record(model.Event{Kind: model.EventRole, Detail: "writing to the disk fails: " + s.DiskError})
 	}
 }
--- a/io/trans/roles/platform.go
+++ b/io/trans/roles/platform.go
@@ -36,7 +36,7 @@
 func (p *platform) Reboot(ctx context.Context, i model.Instance) error {
 	address, ok := p.addresses[i.Zone]
 	if !ok {
-		return &Error{Op: "reboot", Kind: KindServe, Err: fmt.Errorf("no platform is set for zone %s", i.Zone)}
+		return &Error{Op: "reboot", Kind: KindServe, Err: fmt.Errorf("no platform is configured for zone %s", i.Zone)}
 	}
 	u := url.URL{Scheme: "http", Host: address, Path: "/reboot", RawQuery: url.Values{"instance": {string(i.ID)}}.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), http.NoBody)
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -156,7 +156,7 @@
 	if s.Ready() {
 		return ""
 	}
-	return "the leader was not reached lately, or the process stops"
+	return "the leader was not reached recently, or the process is stopping"
 }
 
 // Leaving reports whether the process is stopping.
@@ -223,7 +223,7 @@
 		s.leaving.Store(true)
 		<-s.clock.After(submitLameDuckTime)
 		if err := server.Shutdown(submitDrainTimeout); err != nil {
-			s.Log.Warn("requests cut off at the stop", "err", err)
+			s.Log.Warn("requests were aborted at the stop", "err", err)
 		}
 	})
 }
