--- a/io/trans/admin/fetch.go
+++ b/io/trans/admin/fetch.go
@@ -11,16 +11,17 @@
 )
 
 const (
-	// maxPage bounds the bytes of one response to Fetch.
-	maxPage = 64 << 20
-	// maxPages bounds the requests of one Fetch, so that it ends even when a
-	// process records faster than it answers.
+	// maxPageBytes is the maximum size of one response that FetchEvents accepts.
+	maxPageBytes = 64 << 20
+	// maxPages is the maximum number of requests of one FetchEvents, so that it ends
+	// even if a process records events faster than it sends them.
 	maxPages = 128
 )
 
-// Fetch returns the events of the process whose admin endpoint has the given
-// address, from those after the sequence number since.
-func Fetch(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
+// FetchEvents returns the events with a sequence number above since of the process
+// whose admin endpoint has the given host:port. It returns at most
+// maxPages*PageSize events. Its errors are of KindFetch.
+func FetchEvents(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
 	var all []model.Event
 	for range maxPages {
 		page, err := fetchPage(ctx, c, address, since)
@@ -36,6 +37,7 @@
 	return all, nil
 }
 
+// fetchPage returns at most PageSize events with a sequence number above since.
 func fetchPage(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/events?since=%d", address, since), nil)
 	if err != nil {
@@ -46,14 +48,14 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPage+1))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes+1))
 	switch {
 	case err != nil:
 		return nil, err
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
-	case len(data) > maxPage:
-		return nil, fmt.Errorf("response of more than %d bytes", maxPage)
+	case len(data) > maxPageBytes:
+		return nil, fmt.Errorf("response of more than %d bytes", maxPageBytes)
 	}
 	return report.EventsFromJSON(data)
 }
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -15,8 +15,9 @@
 	"camphorridge/io/trans/peers"
 )
 
-// propose hands in a change and prints its result.
-func propose(o *options, p *operator, out io.Writer, c model.Change) error {
+// propose proposes a change and prints the result. It sets the author and the
+// request ID, which is random unless the operator has given one.
+func propose(o *options, p *controlClient, out io.Writer, c model.Change) error {
 	c.Author = o.author
 	if c.Author == "" {
 		c.Author = "operator"
@@ -27,14 +28,14 @@
 	}
 	r, err := p.leader.Propose(p.ctx, c)
 	if err != nil {
-		return failed("change", fmt.Errorf("it may or may not be accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
+		return failedError("change", fmt.Errorf("it may or may not have been accepted; resend it with --request %s --base %d: %w", c.Request, c.Base, err))
 	}
 	switch r.Kind {
 	case model.ResultConflict:
-		return failed("change", fmt.Errorf("conflict: %s, changed by %s at version %d; differs in: %s",
+		return failedError("change", fmt.Errorf("conflict: %s, changed by %s at version %d; differs in: %s",
 			r.Reason, r.Winner, r.Version, strings.Join(r.DifferingFields, ", ")))
 	case model.ResultInvalid:
-		return failed("change", errors.New("refused: "+r.Reason))
+		return failedError("change", errors.New("refused: "+r.Reason))
 	}
 	fmt.Fprintf(out, "accepted at version %d\n", r.Version)
 	if r.Reason != "" {
@@ -43,8 +44,9 @@
 	return nil
 }
 
-// baseOf is the version that the operator named, or the one in force.
-func (o *options) baseOf(current model.Version) model.Version {
+// baseVersion returns the base version that the operator has given, or otherwise the
+// current version.
+func (o *options) baseVersion(current model.Version) model.Version {
 	if o.base >= 0 {
 		return model.Version(o.base)
 	}
@@ -52,16 +54,18 @@
 }
 
 func applyContract(o *options, out io.Writer) error {
-	c, err := load(o.file, conf.LoadContract)
+	c, err := loadFile(o.file, conf.LoadContract)
 	if err != nil {
 		return err
 	}
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(contractVersion(v, c.Customer))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(contractVersion(v, c.Customer))
 		return propose(o, p, out, model.Change{Kind: model.ChangeContractApply, Base: base, Contract: c})
 	})
 }
 
+// contractVersion returns the current version of a customer's contract, or 0 if there
+// is none.
 func contractVersion(v peers.Overview, name model.Customer) model.Version {
 	for _, c := range v.Status.Contracts {
 		if c.Customer == name {
@@ -72,28 +76,30 @@
 }
 
 func showContract(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		if err := report.Contract(out, o.format(), v.Status, model.Customer(o.name)); err != nil {
-			return failed("contract", err)
+			return failedError("contract", err)
 		}
 		return nil
 	})
 }
 
 func listContracts(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		return report.Contracts(out, o.format(), v.Status)
 	})
 }
 
 func removeContract(o *options, out io.Writer) error {
 	name := model.Customer(o.name)
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(contractVersion(v, name))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(contractVersion(v, name))
 		return propose(o, p, out, model.Change{Kind: model.ChangeContractRemove, Base: base, Customer: name})
 	})
 }
 
+// maintenanceVersion returns the current version of a declaration, or 0 if there is
+// none.
 func maintenanceVersion(v peers.Overview, name string) model.Version {
 	for _, m := range v.Status.Maintenance {
 		if m.Name == name {
@@ -106,7 +112,7 @@
 func declareMaintenance(o *options, out io.Writer) error {
 	deadline, err := parseDeadline(o.deadline, clock.Real().Now())
 	if err != nil {
-		return usage("--deadline", err)
+		return usageError("--deadline", err)
 	}
 	m := model.Maintenance{
 		Name: o.name, Deadline: deadline,
@@ -115,72 +121,74 @@
 			Rack: model.Rack(o.rack), Instance: model.InstanceID(o.instance),
 		},
 	}
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(maintenanceVersion(v, m.Name))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(maintenanceVersion(v, m.Name))
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceDeclare, Base: base, Maintenance: m})
 	})
 }
 
-// parseDeadline reads a duration from now or a date and time.
+// parseDeadline parses a duration from now or a time in RFC 3339 format. The deadline
+// must be after now.
 func parseDeadline(s string, now clock.Millis) (clock.Millis, error) {
 	if d, err := time.ParseDuration(s); err == nil {
 		if d <= 0 {
-			return 0, fmt.Errorf("%q: want a time above 0", s)
+			return 0, fmt.Errorf("%q is not in the future; want a duration above 0", s)
 		}
 		return now + clock.FromDuration(d), nil
 	}
 	t, err := time.Parse(time.RFC3339, s)
 	if err != nil {
-		return 0, fmt.Errorf("%q: want a duration such as 36h or a time such as 2027-01-31T06:00:00Z", s)
+		return 0, fmt.Errorf("%q is not a deadline; want a duration such as 36h or a time such as 2027-01-31T06:00:00Z", s)
 	}
 	at := clock.Millis(t.UnixMilli())
 	if at <= now {
-		return 0, fmt.Errorf("%q: want a time in the future", s)
+		return 0, fmt.Errorf("%q is not in the future; want a later time", s)
 	}
 	return at, nil
 }
 
 func listMaintenance(o *options, out io.Writer) error {
-	return view(o, func(_ *operator, v peers.Overview) error {
+	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
 		return report.Maintenance(out, o.format(), v.Status)
 	})
 }
 
 func cancelMaintenance(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
-		base := o.baseOf(maintenanceVersion(v, o.name))
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+		base := o.baseVersion(maintenanceVersion(v, o.name))
 		m := model.Maintenance{Name: o.name}
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceCancel, Base: base, Maintenance: m})
 	})
 }
 
-// retireInstance releases an instance for good. Its pool is filled from the
-// spare; the step ends when every entry process of the zone confirmed it.
+// retireInstance removes an instance from the fleet permanently. A spare instance
+// replaces it in its pool; the release ends when every entry process of the zone has
+// confirmed it.
 func retireInstance(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, i := range v.Status.Instances {
 			if i.ID != model.InstanceID(o.name) {
 				continue
 			}
 			next := i
 			next.Phase, next.Target, next.Reason = model.PhaseReleasing, model.PoolNone, "retired by "+o.author
-			step := model.InstanceStep{Base: o.baseOf(i.Version), Instance: next}
+			step := model.InstanceStep{Base: o.baseVersion(i.Version), Instance: next}
 			return propose(o, p, out, model.Change{Kind: model.ChangeInstances, Instances: []model.InstanceStep{step}})
 		}
-		return failed("retire", fmt.Errorf("no instance %s", o.name))
+		return failedError("retire", fmt.Errorf("instance %s is not in the fleet", o.name))
 	})
 }
 
-// declareGone tells the group that no run of an entry process so far is left.
-// Only the operator can know that a silent process does not serve a cut-off
-// zone.
+// declareGone tells the control group that an entry process no longer runs in any
+// incarnation so far. Only the operator can know this: a process that doesn't report
+// may still serve a zone that is cut off from the control group.
 func declareGone(o *options, out io.Writer) error {
-	return view(o, func(p *operator, v peers.Overview) error {
+	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, m := range v.Entries {
 			if m.Name == model.Process(o.name) {
 				return propose(o, p, out, model.Change{Kind: model.ChangeProcessGone, Process: m.Name})
 			}
 		}
-		return failed("gone", fmt.Errorf("no entry process %s in the settings", o.name))
+		return failedError("gone", fmt.Errorf("entry process %s is not in the settings of the control processes", o.name))
 	})
 }
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -9,7 +9,7 @@
 	"github.com/integrii/flaggy"
 )
 
-// Version is the program's version; releases set it when linking.
+// Version is the version of the program. Releases set it with a linker flag.
 var Version = "development"
 
 // Exit statuses.
@@ -18,7 +18,7 @@
 	ExitUsage  = 2
 )
 
-// Kind tells the errors of the package apart.
+// Kind classifies the errors of the package.
 type Kind int
 
 // The kinds of error.
@@ -30,7 +30,7 @@
 	KindFailed
 )
 
-// Error is the error type of the package.
+// Error is the error type of the package. Op is the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
@@ -42,9 +42,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-func usage(op string, err error) error { return &Error{Op: op, Kind: KindUsage, Err: err} }
+func usageError(op string, err error) error { return &Error{Op: op, Kind: KindUsage, Err: err} }
 
-func failed(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
+func failedError(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
 
 // options holds the values of all flags and positional arguments.
 type options struct {
@@ -66,20 +66,21 @@
 	queue    string
 }
 
-// command is a subcommand with what it runs.
+// command is a subcommand and the function that runs it.
 type command struct {
 	sub *flaggy.Subcommand
 	run func(o *options, out io.Writer) error
 }
 
-// Main runs the program and returns its exit status.
+// Main runs the subcommand that args name and returns the exit status of the
+// program. It writes errors to errOut.
 func Main(args []string, out, errOut io.Writer) int {
 	o := &options{control: os.Getenv("CAMPHORRIDGE_CONTROL"), author: os.Getenv("USER"), base: -1}
 	p := flaggy.NewParser("camphorridge")
 	p.Description = "fleet capacity and maintenance manager"
 	p.DisableShowVersionWithVersion()
 	p.ShowHelpOnUnexpected = true
-	all := attach(p, o)
+	all := addSubcommands(p, o)
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "camphorridge:", err)
 		return ExitUsage
@@ -106,9 +107,9 @@
 	return ExitFailed
 }
 
-// attach adds all subcommands to the parser. Subcommands of a group come
-// before the group, so that the most exact one runs.
-func attach(p *flaggy.Parser, o *options) []command {
+// addSubcommands adds all subcommands to the parser and returns those that can be
+// run. Groups of subcommands can't be run themselves.
+func addSubcommands(p *flaggy.Parser, o *options) []command {
 	var all []command
 	add := func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand {
 		s := flaggy.NewSubcommand(name)
@@ -132,10 +133,11 @@
 	return all
 }
 
-// adder attaches one subcommand to a parent, or to the program for nil.
-type adder func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand
+// addFunc adds a subcommand to parent, or to the program if parent is nil. run is nil
+// for a group of subcommands.
+type addFunc func(parent *flaggy.Subcommand, name, description string, run func(*options, io.Writer) error) *flaggy.Subcommand
 
-func attachRoles(add adder, o *options) {
+func attachRoles(add addFunc, o *options) {
 	for _, s := range []*flaggy.Subcommand{
 		add(nil, "entry", "run an entry process", runEntry),
 		add(nil, "control", "run a control process", runControl),
@@ -151,7 +153,7 @@
 	})
 }
 
-func attachContract(add adder, o *options) {
+func attachContract(add addFunc, o *options) {
 	group := add(nil, "contract", "apply, show, list or remove contracts", nil)
 	apply := add(group, "apply", "apply the contract in a file", applyContract)
 	apply.AddPositionalValue(&o.file, "file", 1, true, "contract file")
@@ -164,7 +166,7 @@
 	changeFlags(o, apply, remove)
 }
 
-func attachMaintenance(add adder, o *options) {
+func attachMaintenance(add addFunc, o *options) {
 	group := add(nil, "maintenance", "declare, list or cancel maintenance", nil)
 	declare := add(group, "declare", "declare that instances must be maintained by a deadline", declareMaintenance)
 	declare.AddPositionalValue(&o.name, "name", 1, true, "name of the declaration")
@@ -180,7 +182,7 @@
 	changeFlags(o, declare, cancel)
 }
 
-func attachFleet(add adder, o *options) {
+func attachFleet(add addFunc, o *options) {
 	retire := add(nil, "retire", "take an instance out of the fleet for good", retireInstance)
 	retire.AddPositionalValue(&o.name, "instance", 1, true, "name of the instance")
 	gone := add(nil, "gone", "declare that an entry process has ended for good, so that nothing waits for it", declareGone)
@@ -189,21 +191,21 @@
 	changeFlags(o, retire, gone)
 }
 
-func attachJobs(add adder, o *options) {
-	group := add(nil, "job", "hand in, look at, list or cancel jobs", nil)
-	submit := add(group, "submit", "hand in the job in a file; to hand it in again is harmless", submitJob)
+func attachJobs(add addFunc, o *options) {
+	group := add(nil, "job", "submit, show, list or cancel jobs", nil)
+	submit := add(group, "submit", "submit the job in a file; submitting it again is harmless", submitJob)
 	submit.AddPositionalValue(&o.file, "file", 1, true, "job file")
 	get := add(group, "get", "show the state of a job", getJob)
 	cancel := add(group, "cancel", "cancel a job", cancelJob)
 	for _, s := range []*flaggy.Subcommand{get, cancel} {
-		s.AddPositionalValue(&o.name, "id", 1, true, "identity of the job")
+		s.AddPositionalValue(&o.name, "id", 1, true, "ID of the job")
 	}
 	list := add(group, "list", "list the jobs that have not ended, the oldest first", listJobs)
 	list.String(&o.queue, "", "queue", "only the jobs of this queue")
 	operatorFlags(o, submit, get, cancel, list)
 }
 
-func attachReports(add adder, o *options) {
+func attachReports(add addFunc, o *options) {
 	status := add(nil, "status", "show which process runs which version, and what waits", showStatus)
 	measures := add(nil, "measures", "show roll-out times, moves and the idle buffer", showMeasures)
 	instances := add(nil, "instances", "list the instances", listInstances)
@@ -211,20 +213,20 @@
 	explain.AddPositionalValue(&o.kind, "kind", 1, true, "customer, instance, request or job")
 	explain.AddPositionalValue(&o.name, "name", 2, true, "its name")
 	timeline := add(nil, "timeline", "show the events of all processes in causal order", showTimeline)
-	timeline.String(&o.html, "", "html", "write the time line as a page to this file")
+	timeline.String(&o.html, "", "html", "write the timeline as an HTML page to this file")
 	operatorFlags(o, status, measures, instances, explain, timeline)
 }
 
 func operatorFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
-		s.String(&o.control, "c", "control", "peers addresses of control processes, by comma; default is CAMPHORRIDGE_CONTROL")
+		s.String(&o.control, "c", "control", "peers addresses of control processes, separated by commas; default is CAMPHORRIDGE_CONTROL")
 		s.Bool(&o.json, "j", "json", "print JSON")
 	}
 }
 
 func changeFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
-		s.String(&o.request, "", "request", "identity of the change, to resend one whose answer was lost")
+		s.String(&o.request, "", "request", "ID of the change, to resend one whose answer was lost")
 		s.String(&o.author, "", "author", "who makes the change; default is USER")
 		s.Int(&o.base, "", "base", "version that the change is made against; default is the one in force")
 	}
--- a/io/trans/roles/counters.go
+++ b/io/trans/roles/counters.go
@@ -6,17 +6,18 @@
 	"camphorridge/io/trans/admin"
 )
 
-// counter is a counter that a part keeps by itself.
+// counter is a metric whose value a component keeps itself.
 type counter struct {
-	name string
-	read func() int64
+	name  string
+	value func() int64
 }
 
-// counters registers counters. Their names are constants of this package, so
-// a clash is a programming error that the first scrape of a test shows.
-func counters(r metrics.Registry, all []counter) {
+// registerCounters registers counters. It panics if a name is registered already:
+// the names are constants of this package, so that is a programming error, which
+// any test that starts the role shows.
+func registerCounters(r metrics.Registry, all []counter) {
 	for _, c := range all {
-		if err := admin.Count(r, c.name, c.read); err != nil {
+		if err := admin.RegisterCounter(r, c.name, c.value); err != nil {
 			panic(err)
 		}
 	}
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -17,64 +17,67 @@
 	"camphorridge/io/trans/peers"
 )
 
-// asideEvidence is the evidence from which a worker is set aside: the log of
-// how much likelier a broken worker explains its failures.
-const asideEvidence = 3
+// minQuarantineScore is the score at which a worker is quarantined: the logarithm
+// of how much more likely a broken worker explains its failures.
+const minQuarantineScore = 3
 
-// JobsRunner is the runner with the policies of the product.
-type JobsRunner = runner.Runner[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
+// JobsRunner is the job runner with the policies that are used in production.
+type JobsRunner = runner.Runner[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
-// JobsOptions says how a control process runs jobs.
+// JobsOptions configures how a control process runs jobs.
 type JobsOptions struct {
-	// Listen is the address for workers and operators; empty for a process
-	// that runs no jobs.
-	Listen string
-	// Handler makes the handler for that address.
+	// Address is the address to listen on for workers and operators. If it is empty,
+	// the process runs no jobs.
+	Address string
+	// Handler returns the HTTP handler for Address.
 	Handler  func(JobsService) http.Handler
 	Settings sched.Settings
+	// Machines changes the machines of the platform; it may be nil.
 	Machines runner.Machines
-	// Reload reads the control processes from the settings anew.
+	// Reload reads the control processes from the settings again.
 	Reload func() ([]model.Member, error)
 }
 
-// JobsService is what an adapter for workers and operators works with.
+// JobsService is what the HTTP handler for workers and operators uses.
 type JobsService struct {
 	Runner *JobsRunner
-	// Leader names the known leader, empty for none, and tells whether it is
-	// this process.
+	// Leader returns the name of the leader, empty if none is known, and whether
+	// this process is the leader.
 	Leader func() (name model.Process, here bool)
 	Log    *log.Logger
 }
 
-// noMachines stands for a platform without an interface to machines.
+// noMachines is used on a platform that has no interface for machines. It refuses
+// every action.
 type noMachines struct{}
 
 func (noMachines) Do(context.Context, runner.MachineAction) sched.Outcome {
 	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
-// serveJobs adds the runner and the server for workers and operators.
+// serveJobs adds the job runner and the server for workers and operators. It does
+// nothing if the process runs no jobs.
 func (c *Control) serveJobs(g *run.Group, o JobsOptions) error {
-	if o.Listen == "" {
+	if o.Address == "" {
 		return nil
 	}
 	if o.Machines == nil {
 		o.Machines = noMachines{}
 	}
-	l, err := listen("workers and operators", o.Listen)
+	l, err := listen("workers and operators", o.Address)
 	if err != nil {
 		return err
 	}
-	c.work = runner.New(runner.Config[*seat, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
+	c.jobs = runner.New(runner.Config[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Rank: sched.EarliestDeadline{},
-		Health: place.PeerComparison{MinScore: asideEvidence}, Settings: o.Settings, Clock: c.clock, Notes: c.logNotes,
-		ObserveCommit: func(d clock.Millis) { c.commits.Update(int64(d)) },
+		Health: place.PeerComparison{MinScore: minQuarantineScore}, Settings: o.Settings, Clock: c.clock, Notes: c.logDecisions,
+		ObserveCommit: func(d clock.Millis) { c.commitMillis.Update(int64(d)) },
 	})
-	c.member.changed = c.work.Wake
-	service := JobsService{Runner: c.work, Leader: c.knownLeader, Log: c.log}
-	addServer(g, l, o.Handler(service), peerStop)
-	add(g, c.work)
-	add(g, newReloader(o.Reload, c.cfg.Controls, c.keeper.Configure, c.clock, c.log))
+	c.member.onStatus = c.jobs.Wake
+	service := JobsService{Runner: c.jobs, Leader: c.knownLeader, Log: c.log}
+	addServer(g, l, o.Handler(service), peerStopTimeout)
+	addComponent(g, c.jobs)
+	addComponent(g, newReloader(o.Reload, c.cfg.Controls, c.membership.Configure, c.clock, c.log))
 	return nil
 }
 
@@ -84,14 +87,14 @@
 	return s.Leader.Name, here
 }
 
-// jobMetrics registers what the runner counts.
+// jobMetrics registers the metrics of the job runner.
 func (c *Control) jobMetrics(r metrics.Registry) {
-	if c.work == nil {
+	if c.jobs == nil {
 		return
 	}
-	_ = r.Register("job-commit-ms", c.commits)
-	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.work.Counts()) } }
-	counters(r, []counter{
+	_ = r.Register("job-commit-ms", c.commitMillis)
+	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.jobs.Counts()) } }
+	registerCounters(r, []counter{
 		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
 		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
@@ -101,21 +104,22 @@
 		{"runs-started", count(func(n runner.Counts) int64 { return n.RunsStarted })},
 		{"runs-lost", count(func(n runner.Counts) int64 { return n.RunsLost })},
 		{"runs-failed", count(func(n runner.Counts) int64 { return n.RunsFailed })},
-		{"job-inputs-refused", c.work.Refused},
+		{"job-inputs-refused", c.jobs.Refused},
 	})
 }
 
-// workServer serves submitters' calls; nil in a process that runs no jobs.
-func (c *Control) workServer(s *peers.ControlServer[*seat, *moverDuty]) wirepb.Work {
-	if c.work == nil {
+// workServer returns the server for submitters' calls, or nil if the process runs
+// no jobs.
+func (c *Control) workServer(s *peers.ControlServer[*groupMember, *fleetMover]) wirepb.Work {
+	if c.jobs == nil {
 		return nil
 	}
-	return peers.WorkServer[*JobsRunner]{Runner: c.work, Stamps: c.recorder, RequireLeader: s.RequireLeader}
+	return peers.WorkServer[*JobsRunner]{Runner: c.jobs, Stamps: c.recorder, RequireLeader: s.RequireLeader}
 }
 
-// logNotes writes a line for each decision that changes what the process
-// believes of a run or a worker; starts are counted only.
-func (c *Control) logNotes(all []sched.Note) {
+// logDecisions logs each decision of the scheduler about a job, a run or a worker.
+// Started runs are only counted, not logged.
+func (c *Control) logDecisions(all []sched.Note) {
 	for _, n := range all {
 		level := log.InfoLevel
 		if n.Important {
--- /dev/null
+++ b/io/trans/roles/latency.go
@@ -0,0 +1,39 @@
+package roles
+
+import (
+	"context"
+
+	"github.com/rcrowley/go-metrics"
+
+	"camphorridge/core/coord/entry"
+	"camphorridge/core/state/clock"
+	"camphorridge/io/trans/admin"
+)
+
+// timedDispatcher is a dispatcher that measures how long requests wait for it and
+// how long upstreams take.
+type timedDispatcher struct {
+	*dispatcher
+	clock         clock.Clock
+	waitMillis    metrics.Histogram
+	elapsedMillis metrics.Histogram
+}
+
+func newTimedDispatcher(d *dispatcher, c clock.Clock) *timedDispatcher {
+	return &timedDispatcher{dispatcher: d, clock: c, waitMillis: admin.NewHistogram(), elapsedMillis: admin.NewHistogram()}
+}
+
+// Ask calls the dispatcher's Ask and records the time until the request is granted
+// or refused.
+func (t *timedDispatcher) Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
+	began := t.clock.Now()
+	g, f := t.dispatcher.Ask(ctx, r)
+	t.waitMillis.Update(int64(t.clock.Now() - began))
+	return g, f
+}
+
+// Done records the time that the upstream took, and calls the dispatcher's Done.
+func (t *timedDispatcher) Done(id entry.Ticket, o entry.Outcome, elapsed clock.Millis) {
+	t.elapsedMillis.Update(int64(elapsed))
+	t.dispatcher.Done(id, o, elapsed)
+}
--- /dev/null
+++ b/io/trans/roles/member.go
@@ -0,0 +1,234 @@
+package roles
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"camphorridge/core/coord/boot"
+	"camphorridge/core/coord/group"
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/fleet"
+	"camphorridge/core/state/model"
+	"camphorridge/core/state/raft"
+	"camphorridge/io/trans/peers"
+)
+
+// statusTimeout is the maximum time to wait for the status of the consensus group.
+const statusTimeout = clock.Second
+
+// groupMember is this process's member of the control group as the servers and the
+// mover use it. Until the group has been formed or joined, it can only answer Hello;
+// all other calls fail.
+type groupMember struct {
+	self    boot.Hello
+	senders *peers.Senders
+	// lastStatus is the latest status; nil before the first.
+	lastStatus atomic.Pointer[group.Status]
+	// onStatus, if set, is called after each update of the status; it must not block.
+	onStatus func()
+	mu       sync.Mutex
+	// consensus is nil until the group has been formed or joined.
+	consensus *consensusGroup
+}
+
+func newMember(h boot.Hello, s *peers.Senders) *groupMember { return &groupMember{self: h, senders: s} }
+
+func (m *groupMember) setConsensus(d *consensusGroup) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.consensus = d
+}
+
+func (m *groupMember) getConsensus() (*consensusGroup, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.consensus == nil {
+		return nil, &Error{Op: "consensus", Kind: KindServe, Err: fmt.Errorf("the group is not formed yet")}
+	}
+	return m.consensus, nil
+}
+
+// updateStatus stores a new status. The event loop of the group calls it after each
+// change of role, term or leader.
+func (m *groupMember) updateStatus(s group.Status) {
+	m.lastStatus.Store(&s)
+	m.senders.SetMembers(s.Members)
+	if m.onStatus != nil {
+		m.onStatus()
+	}
+}
+
+// queryStatus returns the current status. It returns the zero status if there is no
+// answer within statusTimeout.
+func (m *groupMember) queryStatus(ctx context.Context) group.Status {
+	d, err := m.getConsensus()
+	if err != nil {
+		return group.Status{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
+	defer cancel()
+	s, err := d.Status(ctx)
+	if err != nil {
+		return group.Status{}
+	}
+	m.updateStatus(s)
+	return s
+}
+
+// Refresh passes the addresses of the members to the senders and returns this
+// process's view of the group.
+func (m *groupMember) Refresh(ctx context.Context) boot.View {
+	s := m.queryStatus(ctx)
+	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
+	for _, p := range s.Peers {
+		if !p.RecentlyActive {
+			v.Silent = append(v.Silent, p.Member.ID)
+		}
+	}
+	return v
+}
+
+// Remove removes a member; only the leader can.
+func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
+	d, err := m.getConsensus()
+	if err != nil {
+		return err
+	}
+	return d.Remove(ctx, id)
+}
+
+// Join adds a member; only the leader can.
+func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
+	d, err := m.getConsensus()
+	if err != nil {
+		return err
+	}
+	m.senders.SetMembers([]raft.Member{x})
+	members, err := d.Join(ctx, x)
+	m.senders.SetMembers(members)
+	return err
+}
+
+// Hello describes this process to the other control processes. It counts as
+// initialised once it has a member list.
+func (m *groupMember) Hello() boot.Hello {
+	h := m.self
+	members := m.queryStatus(context.Background()).Members
+	h.Initialised = h.Initialised || len(members) > 0
+	for _, x := range members {
+		if !x.Voter {
+			return h
+		}
+	}
+	h.Founders = members
+	return h
+}
+
+// Propose proposes a change and returns its result once it is applied. If this
+// process doesn't lead, the error is a notLeading.
+func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
+	d, err := m.getConsensus()
+	if err != nil {
+		return model.Result{}, notLeading{}
+	}
+	r, err := d.Propose(ctx, c)
+	return r, asNotLeading(err)
+}
+
+// Read returns once a subsequent Query is certain to observe every change that was
+// acknowledged before the call. If this process doesn't lead, the error is a notLeading.
+func (m *groupMember) Read(ctx context.Context) error {
+	d, err := m.getConsensus()
+	if err != nil {
+		return err
+	}
+	return asNotLeading(d.ReadBarrier(ctx))
+}
+
+// Query calls f with the state as applied on this member. f must neither modify nor
+// keep the state.
+func (m *groupMember) Query(ctx context.Context, f func(*fleet.State)) error {
+	d, err := m.getConsensus()
+	if err != nil {
+		return err
+	}
+	return d.Query(ctx, f)
+}
+
+// Await returns once the table's version is above v, the group stops, or ctx is
+// done.
+func (m *groupMember) Await(ctx context.Context, v model.Version) {
+	d, err := m.getConsensus()
+	if err != nil {
+		<-ctx.Done()
+		return
+	}
+	fired, err := d.Watch(ctx, v)
+	if err != nil {
+		return
+	}
+	select {
+	case <-fired:
+	case <-d.Done():
+	case <-ctx.Done():
+	}
+}
+
+// Step passes messages of other members to the group.
+func (m *groupMember) Step(all []raft.Message) error {
+	d, err := m.getConsensus()
+	if err != nil {
+		return err
+	}
+	d.Step(all)
+	return nil
+}
+
+// Status returns the role, term and leader as of the latest status update.
+func (m *groupMember) Status() peers.GroupStatus {
+	s := m.lastStatus.Load()
+	if s == nil {
+		return peers.GroupStatus{}
+	}
+	return peers.GroupStatus{Role: s.Role, Term: s.Term, Leader: s.Leader}
+}
+
+// Leads returns the term and whether this process leads, as of the latest status
+// update.
+func (m *groupMember) Leads() (uint64, bool) {
+	s := m.Status()
+	return s.Term, s.Role == raft.RoleLeader
+}
+
+// NotApplied reports whether an error of Propose means that the change was not and
+// will not be applied.
+func (m *groupMember) NotApplied(err error) bool {
+	var n notLeading
+	var e *group.Error
+	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
+}
+
+// notLeading is the error of a call that only the leader can answer. It names the
+// leader.
+type notLeading struct{ leader raft.Member }
+
+func (e notLeading) Error() string { return "this member is not the leader" }
+
+// KnownLeader returns the name and address of the leader, or empty strings if it
+// is unknown.
+func (e notLeading) KnownLeader() (name, address string) {
+	return string(e.leader.Name), e.leader.Address
+}
+
+// asNotLeading converts a group error of kind KindNotLeader to a notLeading and
+// returns other errors unchanged.
+func asNotLeading(err error) error {
+	var e *group.Error
+	if errors.As(err, &e) && e.Kind == group.KindNotLeader {
+		return notLeading{leader: e.Leader}
+	}
+	return err
+}
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -21,90 +21,95 @@
 	"camphorridge/io/trans/peers"
 )
 
-// Times of an entry process for submitters.
+// Limits of an entry process for submitters.
 const (
-	// pingWait separates two checks whether the leader can be reached, and
-	// pingAge is the age from which a good check no longer counts.
-	pingWait = 500 * clock.Millis(1)
-	pingAge  = 1800 * clock.Millis(1)
-	// leaderWait bounds the search for a leader in one call. An election takes
-	// one to two seconds, and a caller who is refused early can come back in
-	// time.
-	leaderWait = 900 * clock.Millis(1)
-	// againWait separates two tries of one call.
-	againWait = 100 * clock.Millis(1)
-	// submitLameDuck is the time between the first failing readiness check and
-	// the close of the listener: the balancer checks once a second and needs
-	// two misses.
-	submitLameDuck = 2200 * clock.Millis(1)
-	submitDrain    = 2500 * clock.Millis(1)
-	entryEvents    = 1000
+	// pingInterval is the interval at which the process checks whether it can reach
+	// the leader, and maxPingAge how long a successful check keeps it ready.
+	pingInterval = 500 * clock.Millis(1)
+	maxPingAge   = 1800 * clock.Millis(1)
+	// leaderTimeout is the maximum time of one attempt of a call. A call that was
+	// not executed is also refused after this time. An election
+	// takes one to two seconds; a caller that is refused before its own timeout still
+	// has time to retry.
+	leaderTimeout = 900 * clock.Millis(1)
+	// retryDelay is the time between two attempts of one call.
+	retryDelay = 100 * clock.Millis(1)
+	// submitLameDuckTime is how long a stopping process still accepts connections
+	// while its readiness check fails. The load balancer checks once a second and
+	// removes a process after two failed checks.
+	submitLameDuckTime  = 2200 * clock.Millis(1)
+	submitDrainTimeout  = 2500 * clock.Millis(1)
+	submitEventCapacity = 1000
 )
 
-// SubmitOptions says how an entry process for submitters runs.
+// SubmitOptions configures an entry process for submitters.
 type SubmitOptions struct {
 	Name     model.Process
 	Zone     model.Zone
 	Controls []model.Member
-	// Front and Ready are the addresses for submitters and for readiness
+	// FrontAddress and ReadyAddress are the addresses for submitters and for readiness
 	// checks.
-	Front string
-	Ready string
-	// Handler makes the handler for submitters, and ReadyHandler that for
+	FrontAddress string
+	ReadyAddress string
+	// Handler returns the HTTP handler for submitters, and ReadyHandler the one for
 	// readiness checks.
-	Handler        func(Submitter) http.Handler
-	ReadyHandler   func(Submitter) http.Handler
+	Handler        func(SubmitService) http.Handler
+	ReadyHandler   func(SubmitService) http.Handler
 	MaxHeaderBytes int
-	// Admin is the address for metrics.
-	Admin string
-	// Reload reads the control processes from the settings anew.
+	// AdminAddress is the address for metrics, health and events.
+	AdminAddress string
+	// Reload reads the control processes from the settings again.
 	Reload   func() ([]model.Member, error)
 	LogLevel string
 }
 
-// Submitter is what an adapter for submitters works with.
-type Submitter struct {
-	leader  *peers.LeaderClient
-	clock   clock.Clock
-	Log     *log.Logger
-	pinged  *atomic.Int64
-	leaving *atomic.Bool
-	stats   *submitStats
+// SubmitService is what the HTTP handlers for submitters and readiness checks use.
+type SubmitService struct {
+	leader   *peers.LeaderClient
+	clock    clock.Clock
+	Log      *log.Logger
+	lastPing *atomic.Int64
+	leaving  *atomic.Bool
+	stats    *submitStats
 }
 
-// submitStats counts what callers were answered.
+// submitStats holds the statistics of the calls of submitters.
 type submitStats struct {
-	// answers counts by kind of answer.
+	// answers holds the number of answers by kind.
 	answers [runner.AnswerOutcomeUnknown + 1]atomic.Int64
-	// millis takes the time of each call.
-	millis metrics.Histogram
+	// callMillis holds the duration of each call, in ms.
+	callMillis metrics.Histogram
 }
 
-// registry returns the metrics of the process.
-func (s Submitter) registry(client *peers.Client, dropped func() int64) metrics.Registry {
+// newMetrics returns a registry with the metrics of the process. dropped returns the
+// number of dropped log lines.
+func (s SubmitService) newMetrics(client *peers.Client, dropped func() int64) metrics.Registry {
 	r := metrics.NewRegistry()
 	for kind := range s.stats.answers {
-		counters(r, []counter{{"calls-" + runner.AnswerKind(kind).String(), s.stats.answers[kind].Load}})
+		registerCounters(r, []counter{{"calls-" + runner.AnswerKind(kind).String(), s.stats.answers[kind].Load}})
 	}
-	counters(r, usage(client.Traffic))
-	counters(r, []counter{{"log-lines-dropped", dropped}})
-	_ = r.Register("call-ms", s.stats.millis)
+	registerCounters(r, processCounters(client.Traffic))
+	registerCounters(r, []counter{{"log-lines-dropped", dropped}})
+	_ = r.Register("call-ms", s.stats.callMillis)
 	return r
 }
 
-// Call hands a call to the leader. The answer tells whether the call may have
-// been carried out. A call that may have been is handed in again as long as
-// the caller waits: it is idempotent, and only a definite answer helps the
-// caller. One that was not is refused soon, so that the caller can come back.
-func (s Submitter) Call(ctx context.Context, c runner.Call) runner.Answer {
+// Call forwards a call to the leader. The kind of the answer says whether the call
+// may have been executed. A call that may have been executed is sent again until
+// ctx is done: calls are idempotent, and only a definite answer helps the caller. A
+// call that was certainly not executed is refused after leaderTimeout, so that the
+// caller can retry in time.
+func (s SubmitService) Call(ctx context.Context, c runner.Call) runner.Answer {
 	began := s.clock.Now()
-	a := s.call(ctx, c, began+leaderWait)
-	s.stats.millis.Update(int64(s.clock.Now() - began))
+	a := s.call(ctx, c, began+leaderTimeout)
+	s.stats.callMillis.Update(int64(s.clock.Now() - began))
 	s.stats.answers[a.Kind].Add(1)
 	return a
 }
 
-func (s Submitter) call(ctx context.Context, c runner.Call, soon clock.Millis) runner.Answer {
+// call sends a call until there is a definite answer or ctx is done. If no attempt
+// can have been executed, it gives up at refuseAt.
+func (s SubmitService) call(ctx context.Context, c runner.Call, refuseAt clock.Millis) runner.Answer {
 	uncertain := false
 	for {
 		a := s.try(ctx, c)
@@ -113,22 +118,22 @@
 		if !open {
 			return a
 		}
-		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= soon) {
+		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= refuseAt) {
 			if uncertain {
 				a.Kind = runner.AnswerOutcomeUnknown
 			}
 			return a
 		}
 		select {
-		case <-s.clock.After(againWait):
+		case <-s.clock.After(retryDelay):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// try hands a call to the leader once.
-func (s Submitter) try(ctx context.Context, c runner.Call) runner.Answer {
-	ctx, cancel := context.WithTimeout(ctx, leaderWait.Duration())
+// try sends a call to the leader once.
+func (s SubmitService) try(ctx context.Context, c runner.Call) runner.Answer {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout.Duration())
 	defer cancel()
 	a, err := s.leader.CallRunner(ctx, c)
 	if err == nil {
@@ -137,27 +142,28 @@
 	if peers.MayHaveRun(err) {
 		return runner.Answer{Kind: runner.AnswerOutcomeUnknown, Reason: err.Error()}
 	}
-	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingWait, Reason: err.Error()}
+	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingInterval, Reason: err.Error()}
 }
 
-// Ready reports whether new callers are welcome: the leader was reached lately
-// and the process is not stopping.
-func (s Submitter) Ready() bool {
-	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.pinged.Load()) < pingAge
+// Ready reports whether the process accepts new callers: it reached the leader
+// within the last maxPingAge and is not stopping.
+func (s SubmitService) Ready() bool {
+	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.lastPing.Load()) < maxPingAge
 }
 
-// notReady is the reason why new callers are not welcome; empty when they are.
-func (s Submitter) notReady() string {
+// notReady returns why the process accepts no new callers. It is empty if it does.
+func (s SubmitService) notReady() string {
 	if s.Ready() {
 		return ""
 	}
-	return "the leader was not reached lately, or the process stops"
+	return "the leader was not reached recently, or the process is stopping"
 }
 
 // Leaving reports whether the process is stopping.
-func (s Submitter) Leaving() bool { return s.leaving.Load() }
+func (s SubmitService) Leaving() bool { return s.leaving.Load() }
 
-// RunSubmit runs an entry process for submitters until a signal stops it.
+// RunSubmit runs an entry process for submitters until a signal stops it, and writes
+// its log to out.
 func RunSubmit(o SubmitOptions, out io.Writer) error {
 	clk := clock.Real()
 	async := logs.NewAsync(out, clk)
@@ -166,45 +172,46 @@
 	if err != nil {
 		return err
 	}
-	recorder := record.New(o.Name, entryEvents, clk)
+	recorder := record.New(o.Name, submitEventCapacity, clk)
 	client := peers.NewClient(o.Name, recorder)
-	s := Submitter{
+	s := SubmitService{
 		leader: peers.NewLeaderClient(client, o.Controls, clk), clock: clk, Log: lg,
-		pinged: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{millis: admin.NewHistogram()},
+		lastPing: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{callMillis: admin.NewHistogram()},
 	}
 	var g run.Group
 	addSignals(&g, lg)
-	callers, err := listen("submitters", o.Front)
+	callers, err := listen("submitters", o.FrontAddress)
 	if err != nil {
 		return err
 	}
-	ready, err := listen("readiness", o.Ready)
+	ready, err := listen("readiness", o.ReadyAddress)
 	if err != nil {
 		return err
 	}
 	adm, err := admin.New(admin.Config{
-		Address: o.Admin, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
-		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStop, Registry: s.registry(client, async.Dropped),
+		Address: o.AdminAddress, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
+		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStopTimeout, Registry: s.newMetrics(client, async.Dropped),
 	})
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	s.addCallers(&g, callers, o)
-	add(&g, &pinger{submitter: s, done: make(chan struct{})})
+	addComponent(&g, &pinger{submitter: s, done: make(chan struct{})})
 	addServer(&g, ready, o.ReadyHandler(s), clock.Second)
-	add(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
-	add(&g, adm)
-	add(&g, recorder)
-	lg.Info("started", "front", o.Front)
+	addComponent(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
+	addComponent(&g, adm)
+	addComponent(&g, recorder)
+	lg.Info("started", "front", o.FrontAddress)
 	err = g.Run()
 	client.Close()
 	lg.Info("stopped", "err", err)
 	return err
 }
 
-// addCallers adds the server for submitters. It stops in three steps: the
-// readiness check fails, the listener closes, open requests end.
-func (s Submitter) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
+// addCallers adds the server for submitters. It stops in three steps: the readiness
+// check fails for submitLameDuckTime, the listener closes, and open requests finish
+// within submitDrainTimeout.
+func (s SubmitService) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
 	h := o.Handler(s)
 	server := front.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Leaving() {
@@ -214,41 +221,43 @@
 	}), o.MaxHeaderBytes)
 	g.Add(func() error { return server.Serve(l) }, func(error) {
 		s.leaving.Store(true)
-		<-s.clock.After(submitLameDuck)
-		if err := server.Shutdown(submitDrain); err != nil {
-			s.Log.Warn("requests cut off at the stop", "err", err)
+		<-s.clock.After(submitLameDuckTime)
+		if err := server.Shutdown(submitDrainTimeout); err != nil {
+			s.Log.Warn("requests were aborted at the stop", "err", err)
 		}
 	})
 }
 
-// pinger is the duty that checks whether the leader can be reached.
+// pinger is the component that checks whether the leader can be reached, every
+// pingInterval.
 type pinger struct {
-	submitter Submitter
+	submitter SubmitService
 	done      chan struct{}
 }
 
-// Run checks until Stop.
+// Run checks until Stop is called.
 func (p *pinger) Run() error {
-	// The readiness also ends by age, between two checks.
-	was := false
+	// Ready can also become false between two checks, when the last successful one is
+	// too old; the log shows that at the next check.
+	wasReady := false
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
 		a, err := p.submitter.leader.CallRunner(ctx, runner.Call{Kind: runner.CallPing})
 		cancel()
 		if err == nil && a.Kind == runner.AnswerDone {
-			p.submitter.pinged.Store(int64(p.submitter.clock.Now()))
+			p.submitter.lastPing.Store(int64(p.submitter.clock.Now()))
 		}
-		if is := p.submitter.Ready(); is != was {
-			p.submitter.Log.Info("readiness-changed", "ready", is, "err", err, "reason", a.Reason)
-			was = is
+		if ready := p.submitter.Ready(); ready != wasReady {
+			p.submitter.Log.Info("readiness-changed", "ready", ready, "err", err, "reason", a.Reason)
+			wasReady = ready
 		}
 		select {
-		case <-p.submitter.clock.After(pingWait):
+		case <-p.submitter.clock.After(pingInterval):
 		case <-p.done:
 			return nil
 		}
 	}
 }
 
-// Stop ends Run.
+// Stop ends Run. It must be called at most once.
 func (p *pinger) Stop() { close(p.done) }
