Reword the meanings of the settings in the reference

Many meanings were clipped or archaic, such as "bound on the tail of a serving task" or "names of steps further up in the file, by comma"; they now say "limit on the tail latency of a serving task" and "names of earlier steps in the file, separated by commas". The meaning of surge now says which value stands for which cost, and the comment of SurgePreference no longer says that buffer-cost keeps the number of idle instances low. Keys, units, defaults and limits are unchanged.

--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -144,9 +144,9 @@
 	// MaxExchangeMoves limits the moves of one decision whose only purpose is to
 	// spread pools better over failure domains.
 	MaxExchangeMoves int
-	// SurgePreference says what to keep low when demand exceeds the capacity of a
-	// pool: roll-out-time (waiting requests) or buffer-cost (idle instances). The
-	// value off leaves surges to the queues.
+	// SurgePreference says which cost has priority when demand exceeds the capacity
+	// of a pool: that of waiting requests (roll-out-time) or that of lending idle
+	// instances (buffer-cost). The value off leaves surges to the queues.
 	SurgePreference string
 	// SurgeMinSpare is the number of instances of each spare pool that are never
 	// lent to a surge.
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -47,11 +47,11 @@
 // jobKeys returns the table of keys of a job file.
 func jobKeys() []Key[jobFile] {
 	return append([]Key[jobFile]{
-		textKey("job", "id", "", nameRule, "identity of the job; a job that is handed in again under it is the same", func(f *jobFile) *jobs.ID { return &f.job.ID }),
-		textKey("job", "queue", "", nameRule, "queue of the configuration in force", func(f *jobFile) *jobs.QueueName { return &f.job.Queue }),
-		optional(textKey("job", "spec", "", specRule, "passed on to the workers as it is", func(f *jobFile) *string { return &f.job.Spec })),
-		intKey("job", "occurrences", "", "0", 0, maxOccurrences, "times that the steps run; 0 for once, at once", func(f *jobFile) *int { return &f.job.OccurrenceCount }),
-		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence since 1970", func(f *jobFile) *clock.Millis { return &f.job.FirstDue }),
+		textKey("job", "id", "", nameRule, "ID of the job; submitting a job again with the same ID does not create another job", func(f *jobFile) *jobs.ID { return &f.job.ID }),
+		textKey("job", "queue", "", nameRule, "name of a queue in the current configuration", func(f *jobFile) *jobs.QueueName { return &f.job.Queue }),
+		optional(textKey("job", "spec", "", specRule, "text that is passed to the workers unchanged", func(f *jobFile) *string { return &f.job.Spec })),
+		intKey("job", "occurrences", "", "0", 0, maxOccurrences, "number of times that the steps run; 0 to run them once, immediately", func(f *jobFile) *int { return &f.job.OccurrenceCount }),
+		intKey("job", "first-ms", "ms", "0", 0, clock.Millis(1)<<52, "time of the first occurrence, counted from 1970-01-01 UTC", func(f *jobFile) *clock.Millis { return &f.job.FirstDue }),
 		intKey("job", "interval-ms", "ms", "0", 0, 366*clock.Day, "time from one occurrence to the next", func(f *jobFile) *clock.Millis { return &f.job.Interval }),
 	}, stepKeys()...)
 }
@@ -61,25 +61,25 @@
 	const maxAmount = 1_000_000
 	return []Key[jobFile]{
 		stepIntKey("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.TaskCount }),
-		stepIntKey("milli-cores", "1/1000 core", 0, maxAmount, "processor time of a task", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
-		stepIntKey("memory-mib", "MiB", 0, maxAmount*1000, "memory of a task", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
-		stepIntKey("accelerators", "accelerators", 0, maxAmount, "accelerators of a task", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
-		stepIntKey("estimate-ms", "ms", 0, 366*clock.Day, "rough duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
-		stepIntKey("per-worker", "tasks", 0, jobs.MaxTasks, "most tasks of the step on one worker; 0 for no bound", func(s *jobs.Step) *int { return &s.MaxPerWorker }),
-		stepIntKey("may-miss", "tasks", 0, jobs.MaxTasks, "lasting tasks that may be away at a time by the system's own action", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
-		stepIntKey("latency-ms", "ms", 0, clock.Hour, "bound on the tail of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.LatencyTarget }),
+		stepIntKey("milli-cores", "1/1000 core", 0, maxAmount, "processor time that each task requires", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
+		stepIntKey("memory-mib", "MiB", 0, maxAmount*1000, "memory that each task requires", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
+		stepIntKey("accelerators", "accelerators", 0, maxAmount, "accelerators that each task requires", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
+		stepIntKey("estimate-ms", "ms", 0, 366*clock.Day, "approximate duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
+		stepIntKey("per-worker", "tasks", 0, jobs.MaxTasks, "largest number of tasks of the step on one worker; 0 for no limit", func(s *jobs.Step) *int { return &s.MaxPerWorker }),
+		stepIntKey("may-miss", "tasks", 0, jobs.MaxTasks, "number of lasting tasks that the scheduler may make unavailable at the same time", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
+		stepIntKey("latency-ms", "ms", 0, clock.Hour, "limit on the tail latency of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.LatencyTarget }),
 		stepFlagKey("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Checkpoints }),
-		stepFlagKey("gang", "tasks work only all together", func(s *jobs.Step) *bool { return &s.Gang }),
-		stepFlagKey("same-rack", "tasks work faster in one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
-		stepFlagKey("copies", "several runs of a task may go on at a time", func(s *jobs.Step) *bool { return &s.Speculative }),
+		stepFlagKey("gang", "tasks can only work all at the same time", func(s *jobs.Step) *bool { return &s.Gang }),
+		stepFlagKey("same-rack", "tasks work faster on workers of one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
+		stepFlagKey("copies", "a task may have several concurrent runs", func(s *jobs.Step) *bool { return &s.Speculative }),
 		stepFlagKey("lasting", "tasks run until the job is cancelled", func(s *jobs.Step) *bool { return &s.LongRunning }),
-		stepFlagKey("filler", "tasks take processor time that others leave", func(s *jobs.Step) *bool { return &s.BestEffort }),
+		stepFlagKey("filler", "tasks use processor time that other tasks leave unused", func(s *jobs.Step) *bool { return &s.BestEffort }),
 		stepTextKey("label", "label that a worker must have", func(s *jobs.Step) *string { return &s.RequiredLabel }),
-		stepTextKey("data-rack", "rack of the data", func(s *jobs.Step) *string { return &s.DataRack }),
-		stepTextKey("image", "what the tasks run; tasks of one image behave alike", func(s *jobs.Step) *string { return &s.Image }),
+		stepTextKey("data-rack", "rack near the data of the tasks", func(s *jobs.Step) *string { return &s.DataRack }),
+		stepTextKey("image", "image that the tasks run; tasks with the same image behave alike", func(s *jobs.Step) *string { return &s.Image }),
 		{
-			Section: "step " + namePlaceholder, Name: "after", Optional: true, Allowed: "names of steps further up in the file, by comma",
-			Meaning: "steps that have to be done first",
+			Section: "step " + namePlaceholder, Name: "after", Optional: true, Allowed: "names of earlier steps in the file, separated by commas",
+			Meaning: "steps that must be done before this step starts",
 			set: func(f *jobFile, name, value string) bool {
 				_, dependencies := f.step(name)
 				for n := range strings.SplitSeq(value, ",") {
--- a/io/proto/conf/rule.go
+++ b/io/proto/conf/rule.go
@@ -18,7 +18,7 @@
 }
 
 var listenRule = textRule{
-	allowed: "ip:port with an IP number and a port from 0 to 65535",
+	allowed: "ip:port with an IP address and a port from 0 to 65535",
 	accepts: func(s string) bool {
 		_, err := netip.ParseAddrPort(s)
 		return err == nil
@@ -26,7 +26,7 @@
 }
 
 var pathRule = textRule{
-	allowed: "a folder of at most 4096 bytes",
+	allowed: "a folder path of at most 4096 bytes",
 	accepts: func(s string) bool {
 		return s != "" && len(s) <= maxPathBytes && !strings.ContainsRune(s, 0)
 	},
@@ -46,7 +46,7 @@
 }
 
 // parseMember parses the address of a process, zone@ip:port. ok is false if the
-// zone is not a valid name, the port is 0 or the IP number is unspecified.
+// zone is not a valid name, the port is 0 or the IP address is unspecified.
 func parseMember(name, value string) (m model.Member, ok bool) {
 	zone, address, ok := strings.Cut(value, "@")
 	if !ok || !model.ValidName(zone) {
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -21,15 +21,15 @@
 		[]Key[Entry]{
 			textKey("process", "name", "", nameRule, "name of this process; unique among all processes", func(e *Entry) *model.Process { return &e.Name }),
 			textKey("process", "zone", "", nameRule, "availability zone of this process", func(e *Entry) *model.Zone { return &e.Zone }),
-			textKey("listen", "callers", "", listenRule, "address for the requests of callers", func(e *Entry) *string { return &e.Listen.Callers }),
-			textKey("listen", "upstreams", "", listenRule, "address for the announcements of upstreams", func(e *Entry) *string { return &e.Listen.Upstreams }),
+			textKey("listen", "callers", "", listenRule, "address for requests from callers", func(e *Entry) *string { return &e.Listen.Callers }),
+			textKey("listen", "upstreams", "", listenRule, "address for announcements from upstreams", func(e *Entry) *string { return &e.Listen.Upstreams }),
 		},
 		listenKeys(func(e *Entry) *Listen { return &e.Listen }),
 		memberKeys(func(e *Entry) *[]model.Member { return &e.Controls }, func(e *Entry) *[]model.Member { return &e.Entries }),
 		limitKeys(),
 		[]Key[Entry]{
-			intKey("lending", "lease-ms", "ms", "2000", 0, clock.Minute, "lease of slots that one entry process lends to another; 0 turns lending off, and else at least 200; equal in all processes; lower it, or turn it off, in a process only while none of its slots are lent", func(e *Entry) *clock.Millis { return &e.Lending.LeaseMillis }),
-			intKey("lending", "reserve-percent", "%", "25", 0, 100, "part of the own slots of each upstream that is never lent, rounded up", func(e *Entry) *int { return &e.Lending.ReservePercent }),
+			intKey("lending", "lease-ms", "ms", "2000", 0, clock.Minute, "lease duration of slots that one entry process lends to another; 0 turns lending off, otherwise at least 200; the same in all processes; lower it, or turn lending off, in a process only while none of its slots are lent", func(e *Entry) *clock.Millis { return &e.Lending.LeaseMillis }),
+			intKey("lending", "reserve-percent", "%", "25", 0, 100, "share of this process's slots of each upstream that is never lent, rounded up", func(e *Entry) *int { return &e.Lending.ReservePercent }),
 		},
 		commonKeys(func(e *Entry) *string { return &e.LogLevel }, func(e *Entry) *int { return &e.EventCapacity }),
 	)
@@ -41,29 +41,29 @@
 		[]Key[Control]{
 			textKey("process", "name", "", nameRule, "name of this process; unique among all processes", func(c *Control) *model.Process { return &c.Name }),
 			textKey("process", "zone", "", nameRule, "availability zone of this process", func(c *Control) *model.Zone { return &c.Zone }),
-			textKey("process", "data-folder", "", pathRule, "folder of the durable state; owned by this process alone", func(c *Control) *string { return &c.DataFolder }),
+			textKey("process", "data-folder", "", pathRule, "folder for the durable state; used by this process only", func(c *Control) *string { return &c.DataFolder }),
 		},
 		listenKeys(func(c *Control) *Listen { return &c.Listen }),
 		memberKeys(func(c *Control) *[]model.Member { return &c.Controls }, func(c *Control) *[]model.Member { return &c.Entries }),
 		[]Key[Control]{
 			leaseKey(func(c *Control) *clock.Millis { return &c.Limits.LeaseMillis }),
 			drainKey(func(c *Control) *clock.Millis { return &c.Limits.DrainMillis }),
-			intKey("consensus", "election-ms", "ms", "1000", 50, clock.Minute, "a follower that hears nothing from a leader for this long, up to twice that, starts an election", func(c *Control) *clock.Millis { return &c.Consensus.ElectionMillis }),
+			intKey("consensus", "election-ms", "ms", "1000", 50, clock.Minute, "shortest time without a message from a leader after which a follower starts an election; the longest is twice that", func(c *Control) *clock.Millis { return &c.Consensus.ElectionMillis }),
 			intKey("consensus", "heartbeat-ms", "ms", "300", 10, 20*clock.Second, "interval of the leader's heartbeats; at most a third of election-ms", func(c *Control) *clock.Millis { return &c.Consensus.HeartbeatMillis }),
-			intKey("consensus", "snapshot-every", "entries", "10000", 10, 10_000_000, "log entries from one snapshot to the next", func(c *Control) *int { return &c.Consensus.SnapshotEvery }),
+			intKey("consensus", "snapshot-every", "entries", "10000", 10, 10_000_000, "number of log entries from one snapshot to the next", func(c *Control) *int { return &c.Consensus.SnapshotEvery }),
 			intKey("consensus", "segment-bytes", "bytes", "8388608", 4*kib, 1<<30, "size at which a log segment is closed", func(c *Control) *int64 { return &c.Consensus.SegmentBytes }),
 		},
 		[]Key[Control]{platformKey()},
 		[]Key[Control]{
-			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "time that a lost instance is waited for before another takes its place", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
-			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "moves of one decision that only spread the pools better over failure domains; each is a disruption", func(c *Control) *int { return &c.MaxExchangeMoves }),
-			textKey("capacity", "surge", "roll-out-time", oneOfRule("roll-out-time", "buffer-cost", "off"), "what counts most when demand exceeds a pool: waiting requests, or idle instances; off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
-			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "instances of each spare pool that are never lent to a surge: the loss that stays covered", func(c *Control) *int { return &c.SurgeMinSpare }),
-			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; budgets count on it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.MaintenanceMillis }),
-			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "time that the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
-			intKey("maintenance", "stuck-ms", "ms", "1200000", 100, 7*clock.Day, "time after which an instance in maintenance that did not come back counts as failed", func(c *Control) *clock.Millis { return &c.Maintenance.StuckMillis }),
-			intKey("maintenance", "period-days", "days", "49", 0, 3660, "time within which every instance is maintained once; 0 turns this off", func(c *Control) *int { return &c.Maintenance.PeriodDays }),
-			intKey("maintenance", "margin-days", "days", "7", 0, 3660, "how long before the end of the period an instance is taken up; below period-days", func(c *Control) *int { return &c.Maintenance.MarginDays }),
+			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "how long to wait for a lost instance to return before another instance replaces it", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
+			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "largest number of moves in one decision whose only purpose is to spread the pools better over failure domains; each move is a disruption", func(c *Control) *int { return &c.MaxExchangeMoves }),
+			textKey("capacity", "surge", "roll-out-time", oneOfRule("roll-out-time", "buffer-cost", "off"), "which cost has priority when demand exceeds the capacity of a pool: that of waiting requests (roll-out-time) or that of lending idle instances (buffer-cost); off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
+			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "number of instances of each spare pool that are never lent during a surge, so that the loss of as many instances stays covered", func(c *Control) *int { return &c.SurgeMinSpare }),
+			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; disruption budgets are calculated with it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.MaintenanceMillis }),
+			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "how long the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
+			intKey("maintenance", "stuck-ms", "ms", "1200000", 100, 7*clock.Day, "time after which an instance that has not returned from maintenance counts as failed", func(c *Control) *clock.Millis { return &c.Maintenance.StuckMillis }),
+			intKey("maintenance", "period-days", "days", "49", 0, 3660, "time within which every instance is maintained once; 0 turns periodic maintenance off", func(c *Control) *int { return &c.Maintenance.PeriodDays }),
+			intKey("maintenance", "margin-days", "days", "7", 0, 3660, "how long before the end of the period an instance becomes due for maintenance; below period-days", func(c *Control) *int { return &c.Maintenance.MarginDays }),
 		},
 		commonKeys(func(c *Control) *string { return &c.LogLevel }, func(c *Control) *int { return &c.EventCapacity }),
 	)
@@ -72,7 +72,7 @@
 // listenKeys returns the keys of the addresses that both roles listen on.
 func listenKeys[T any](field func(*T) *Listen) []Key[T] {
 	return []Key[T]{
-		textKey("listen", "peers", "", listenRule, "address for the system's own processes and the command line", func(t *T) *string { return &field(t).Peers }),
+		textKey("listen", "peers", "", listenRule, "address for the other processes of the system and for the command line", func(t *T) *string { return &field(t).Peers }),
 		textKey("listen", "admin", "", listenRule, "address for metrics, health and the time line", func(t *T) *string { return &field(t).Admin }),
 	}
 }
@@ -80,8 +80,8 @@
 // memberKeys returns the keys of the member lists, which both roles have.
 func memberKeys[T any](controls, entries func(*T) *[]model.Member) []Key[T] {
 	return []Key[T]{
-		memberKey("control", "zone and peers address of the control member NAME; one key each, equal in all processes", controls),
-		memberKey("entry", "zone and peers address of the entry process NAME; one key each, equal in all processes", entries),
+		memberKey("control", "zone and peers address of the control member NAME; one key per member, the same in all processes", controls),
+		memberKey("entry", "zone and peers address of the entry process NAME; one key per entry process, the same in all processes", entries),
 	}
 }
 
@@ -89,7 +89,7 @@
 func memberKey[T any](section, meaning string, field func(*T) *[]model.Member) Key[T] {
 	return Key[T]{
 		Section: section, Name: "member-" + namePlaceholder, Meaning: meaning,
-		Allowed: "zone@ip:port with an IP number and a port from 1 to 65535",
+		Allowed: "zone@ip:port with an IP address and a port from 1 to 65535",
 		set: func(t *T, name, value string) bool {
 			m, ok := parseMember(name, value)
 			if ok {
@@ -104,8 +104,8 @@
 // zone without one nothing is rebooted, and maintenance waits.
 func platformKey() Key[Control] {
 	return Key[Control]{
-		Section: "platform", Name: "zone-" + namePlaceholder, Meaning: "address of the platform's interface in the availability zone NAME",
-		Allowed: "ip:port with an IP number and a port from 1 to 65535",
+		Section: "platform", Name: "zone-" + namePlaceholder, Meaning: "address of the platform's API in the availability zone NAME",
+		Allowed: "ip:port with an IP address and a port from 1 to 65535",
 		set: func(c *Control, name, value string) bool {
 			ap, err := netip.ParseAddrPort(value)
 			c.Platforms = append(c.Platforms, Platform{Zone: model.Zone(name), Address: value})
@@ -117,34 +117,34 @@
 // limitKeys returns the keys of the limits of an entry process.
 func limitKeys() []Key[Entry] {
 	return []Key[Entry]{
-		intKey("limits", "max-header-bytes", "bytes", "65536", kib, 1024*kib, "largest header of a request; a larger one is refused with 431", func(e *Entry) *int { return &e.Limits.MaxHeaderBytes }),
-		intKey("limits", "max-body-bytes", "bytes", "67108864", kib, 1<<40, "largest body of a request; a larger one is refused with 413", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }),
+		intKey("limits", "max-header-bytes", "bytes", "65536", kib, 1024*kib, "largest header of a request; a larger one is refused with HTTP status 431", func(e *Entry) *int { return &e.Limits.MaxHeaderBytes }),
+		intKey("limits", "max-body-bytes", "bytes", "67108864", kib, 1<<40, "largest body of a request; a larger one is refused with HTTP status 413", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }),
 		intKey("limits", "body-read-ms", "ms", "30000", 10, 10*clock.Minute, "longest time to read the body of a request; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.BodyReadMillis }),
-		intKey("limits", "default-timeout-ms", "ms", "5000", 1, 10*clock.Minute, "timeout of a request that names none; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.DefaultTimeoutMillis }),
-		intKey("limits", "max-timeout-ms", "ms", "60000", 1, 10*clock.Minute, "longest timeout that a request may ask for", func(e *Entry) *clock.Millis { return &e.Limits.MaxTimeoutMillis }),
+		intKey("limits", "default-timeout-ms", "ms", "5000", 1, 10*clock.Minute, "timeout of a request that does not set one; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.DefaultTimeoutMillis }),
+		intKey("limits", "max-timeout-ms", "ms", "60000", 1, 10*clock.Minute, "longest timeout that a request may set", func(e *Entry) *clock.Millis { return &e.Limits.MaxTimeoutMillis }),
 		leaseKey(func(e *Entry) *clock.Millis { return &e.Limits.LeaseMillis }),
-		intKey("limits", "queue-ring", "asks", "4096", 16, 1<<20, "capacity of the dispatcher's input ring; asks beyond it are refused", func(e *Entry) *int { return &e.Limits.QueueRingSize }),
-		intKey("limits", "retry-percent", "%", "10", 0, 100, "retries of this process as a share of the first tries", func(e *Entry) *int { return &e.Limits.RetryPercent }),
+		intKey("limits", "queue-ring", "asks", "4096", 16, 1<<20, "capacity of the dispatcher's input ring; requests that do not fit are refused", func(e *Entry) *int { return &e.Limits.QueueRingSize }),
+		intKey("limits", "retry-percent", "%", "10", 0, 100, "limit on the retries of this process, as a percentage of first attempts", func(e *Entry) *int { return &e.Limits.RetryPercent }),
 		drainKey(func(e *Entry) *clock.Millis { return &e.Limits.DrainMillis }),
 	}
 }
 
 // leaseKey returns the key of the lease of announcements, which both roles have.
 func leaseKey[T any](field func(*T) *clock.Millis) Key[T] {
-	return intKey("limits", "lease-ms", "ms", "3000", 100, clock.Minute, "lease of an announcement; equal in all processes", field)
+	return intKey("limits", "lease-ms", "ms", "3000", 100, clock.Minute, "lease duration of an announcement; the same in all processes", field)
 }
 
 // drainKey returns the key of the longest time of a graceful stop, which both
 // roles have.
 func drainKey[T any](field func(*T) *clock.Millis) Key[T] {
-	return intKey("limits", "drain-ms", "ms", "65000", 1, clock.Hour, "bound on a graceful stop; at least max-timeout-ms in an entry process", field)
+	return intKey("limits", "drain-ms", "ms", "65000", 1, clock.Hour, "longest time that a graceful stop takes; at least max-timeout-ms in an entry process", field)
 }
 
 // commonKeys returns the keys for logging and events, which both roles have.
 func commonKeys[T any](level func(*T) *string, capacity func(*T) *int) []Key[T] {
 	return []Key[T]{
 		textKey("log", "level", "info", oneOfRule("debug", "info", "warn", "error"), "least severe level that is logged", level),
-		intKey("events", "capacity", "events", "4096", 16, 1<<20, "time-line events kept; the oldest are dropped and counted", capacity),
+		intKey("events", "capacity", "events", "4096", 16, 1<<20, "number of time-line events kept; beyond it the oldest are dropped and counted", capacity),
 	}
 }
 
@@ -153,18 +153,18 @@
 	type contract = model.Contract
 	const maxAmount = 1_000_000
 	return []Key[contract]{
-		textKey("contract", "customer", "", nameRule, "holder of the contract", func(c *contract) *model.Customer { return &c.Customer }),
+		textKey("contract", "customer", "", nameRule, "customer that holds the contract", func(c *contract) *model.Customer { return &c.Customer }),
 		{
 			Section: "contract", Name: "covers", Allowed: "instance, rack, zone",
-			Meaning: "largest failure domain whose loss leaves the capacity whole",
+			Meaning: "largest failure domain whose loss does not reduce the promised capacity",
 			set: func(c *contract, _, value string) (ok bool) {
 				c.Covers, ok = model.ParseFailureDomain(value)
 				return ok
 			},
 		},
-		intKey("contract", "concurrency", "requests", "0", 0, maxAmount, "requests in flight over all entry processes; 0 derives it from the slots of the instances", func(c *contract) *int { return &c.Concurrency }),
-		intKey("contract", "queue", "requests", "0", 0, maxAmount, "requests that may wait over all entry processes", func(c *contract) *int { return &c.Queue }),
-		intKey("contract", "retry-percent", "%", "10", 0, 100, "retries as a share of the first tries", func(c *contract) *int { return &c.RetryPercent }),
+		intKey("contract", "concurrency", "requests", "0", 0, maxAmount, "largest number of requests in flight, summed over all entry processes; 0 derives it from the slots of the instances", func(c *contract) *int { return &c.Concurrency }),
+		intKey("contract", "queue", "requests", "0", 0, maxAmount, "largest number of waiting requests, summed over all entry processes", func(c *contract) *int { return &c.Queue }),
+		intKey("contract", "retry-percent", "%", "10", 0, 100, "limit on retries, as a percentage of first attempts", func(c *contract) *int { return &c.RetryPercent }),
 		{
 			Section: "pool " + namePlaceholder, Name: "instances", Unit: "instances", Allowed: "1 to 100000",
 			Meaning: "instances promised in the pool NAME; one section per pool",
@@ -175,12 +175,12 @@
 			},
 		},
 		intKey("disruption", "max-unavailable", "instances", "", 0, 100_000, "the customer's instances that may be out of service at once, planned and unplanned together; below the sum of the promised instances", func(c *contract) *int { return &c.MaxUnavailable }),
-		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over instances, that one window allows; at most window-ms times the promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
-		intKey("disruption", "window-ms", "ms", "", clock.Second, 366*clock.Day, "length of the window of budget-ms", func(c *contract) *clock.Millis { return &c.WindowMillis }),
+		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over instances, that is allowed in one window; at most window-ms times the promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
+		intKey("disruption", "window-ms", "ms", "", clock.Second, 366*clock.Day, "length of the window to which budget-ms applies", func(c *contract) *clock.Millis { return &c.WindowMillis }),
 		intKey("spare", "instances", "instances", "0", 0, 100_000, "idle instances reserved for the customer", func(c *contract) *int { return &c.Spare }),
-		optional(textKey("spare", "pool", "", nameRule, "pool in which the spare instances wait; not a promised pool", func(c *contract) *model.Pool { return &c.SparePool })),
-		intKey("quota", "milli-cores", "1/1000 core", "0", 0, 1_000_000_000, "processor time that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.MilliCores }),
-		intKey("quota", "memory-mib", "MiB", "0", 0, 1_000_000_000, "memory that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.MemoryMiB }),
-		intKey("quota", "accelerators", "accelerators", "0", 0, maxAmount, "accelerators that the customer's tasks hold at once", func(c *contract) *int { return &c.Quota.Accelerators }),
+		optional(textKey("spare", "pool", "", nameRule, "pool that holds the spare instances; not a promised pool", func(c *contract) *model.Pool { return &c.SparePool })),
+		intKey("quota", "milli-cores", "1/1000 core", "0", 0, 1_000_000_000, "processor time that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.MilliCores }),
+		intKey("quota", "memory-mib", "MiB", "0", 0, 1_000_000_000, "memory that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.MemoryMiB }),
+		intKey("quota", "accelerators", "accelerators", "0", 0, maxAmount, "accelerators that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.Accelerators }),
 	}
 }
