Reword the headings and sentences of the reports

Headings such as "In the way now" and "Events of the same instances around it" did not say what they are about; they now read "Current obstacles" (in a job "Reasons for waiting") and "Events of the same instances around the time of the request". Some advice, waiting reasons and measures were clipped or archaic as well. Column headings and JSON keys are unchanged.

--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -21,7 +21,7 @@
 	trail.ActionRestartProcess: "restart %s or declare it lost",
 	trail.ActionCheckPlatform:  "check the platform for %s",
 	trail.ActionWait:           "wait for %s",
-	trail.ActionInspect:        "look at the limit %s",
+	trail.ActionInspect:        "check the limit %s",
 }
 
 // adviceText returns the advice in words.
@@ -42,7 +42,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s at %s\n", x.Subject, printable(x.Name), timeText(x.Now))
 	if !x.Found {
-		b.WriteString("neither the current state nor the retained events mention it\n")
+		b.WriteString("not found in the current state or in the retained events\n")
 	}
 	if x.Instance.ID != "" {
 		t := newTable("ZONE", "RACK", "POOL", "TARGET", "PHASE", "SINCE", "REASON")
@@ -55,13 +55,13 @@
 		pools.add(p.Pool, poolUse(p), p.Promised, p.Serving, p.Releasing, p.Maintenance)
 	}
 	writeSection(&b, "Pools", pools)
-	writeSection(&b, "Limits that were hit", limitHitsTable(x.LimitHits))
-	writeSection(&b, "In the way now", obstaclesTable(x.Obstacles))
+	writeSection(&b, "Limits reached", limitHitsTable(x.LimitHits))
+	writeSection(&b, "Current obstacles", obstaclesTable(x.Obstacles))
 	if x.OmittedEvents > 0 {
 		fmt.Fprintf(&b, "\n%d older events are left out\n", x.OmittedEvents)
 	}
 	writeSection(&b, "Events", eventsTable(x.Events))
-	writeSection(&b, "Events of the same instances around it", eventsTable(x.RelatedEvents))
+	writeSection(&b, "Events of the same instances around the time of the request", eventsTable(x.RelatedEvents))
 	return b.String()
 }
 
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -14,16 +14,16 @@
 var waitReasonTexts = map[sched.WaitReason]string{
 	sched.WaitNotDue:       "the occurrence is not due yet",
 	sched.WaitDependencies: "an earlier step is not done",
-	sched.WaitNoWorkers:    "no worker of the pool has sent a heartbeat lately: add machines to the pool or start their workers",
+	sched.WaitNoWorkers:    "no worker of the pool has sent a heartbeat recently: add machines to the pool or start their workers",
 	sched.WaitLabel:        "no worker of the pool has the required label: add such a machine",
 	sched.WaitSize:         "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
-	sched.WaitLeaving:      "the workers drain, or their machines are to be maintained or moved: wait, or add machines",
+	sched.WaitLeaving:      "the workers are draining, or their machines are about to be maintained or moved: wait, or add machines",
 	sched.WaitQuarantine:   "the workers are quarantined because tasks fail on them: repair them, or wait until they are tried again",
-	sched.WaitAdvice:       "the advice service has not named a worker: look for advice lines in the leader's log",
-	sched.WaitPerWorker:    "each worker runs as many tasks of the step as allowed: add machines",
+	sched.WaitAdvice:       "the advice service has not approved a worker: check the advice lines in the leader's log",
+	sched.WaitPerWorker:    "each worker already runs the maximum number of tasks of the step: add machines",
 	sched.WaitCapacity:     "other tasks use the workers' capacity: wait, or add machines",
 	sched.WaitGang:         "there is capacity for some tasks of the gang but not for all: wait, or add machines",
-	sched.WaitHeartbeat:    "a worker may take a task at its next heartbeat",
+	sched.WaitHeartbeat:    "a worker may get a task at its next heartbeat",
 }
 
 // JobStatus writes the status of a job.
@@ -41,7 +41,7 @@
 		for _, s := range summaries {
 			t.add(s.ID, s.Queue, s.Status, timeText(s.AcceptedAt), timeText(s.Deadline))
 		}
-		return t.String() + fmt.Sprintf("%d shown, %d not ended in all queues\n", len(summaries), total)
+		return t.String() + fmt.Sprintf("%d jobs shown, %d jobs in all queues have not ended\n", len(summaries), total)
 	}, func() any {
 		return object{{"total", total}, {"jobs", mapObjects(summaries, jobSummaryObject)}}
 	})
@@ -78,7 +78,7 @@
 	}
 	writeSection(&b, "Running", runs)
 	if len(reasons) > 0 {
-		b.WriteString("\nIn the way now\n" + strings.Join(reasons, "\n") + "\n")
+		b.WriteString("\nReasons for waiting\n" + strings.Join(reasons, "\n") + "\n")
 	}
 	return b.String()
 }
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -207,6 +207,6 @@
 			}
 			processes.add(p.Name, p.Zone, p.Version, logEntriesBehind(s, p), p.DrainedVersion, timeText(p.VersionSince), ageText(s.Now, p.LastReportAt), yesNo(isSilent(s, p)), p.Incarnation)
 		}
-		return fmt.Sprintf("%s\n%s\n%d of %d processes report and run version %d\n", member, processes, upToDate, len(s.Processes), s.Version)
+		return fmt.Sprintf("%s\n%s\n%d of %d entry processes report in time and use version %d\n", member, processes, upToDate, len(s.Processes), s.Version)
 	}, func() any { return statusObject(s) })
 }
--- a/io/proto/report/measures.go
+++ b/io/proto/report/measures.go
@@ -19,9 +19,9 @@
 func measuresText(m trail.Measures) string {
 	var b strings.Builder
 	t := newTable("MEASURE", "VALUE")
-	t.add("changes in the time line", len(m.Rollouts))
-	t.add("roll-out of a change, median", millisText(m.MedianRollout))
-	t.add("roll-out of a change, worst", millisText(m.LongestRollout))
+	t.add("contract changes in the time line", len(m.Rollouts))
+	t.add("median rollout time of a contract change", millisText(m.MedianRollout))
+	t.add("longest rollout time of a contract change", millisText(m.LongestRollout))
 	t.add("moves", m.Moves)
 	t.add("maintained", m.FinishedMaintenances)
 	t.add("idle instances", m.IdleInstances)
@@ -40,7 +40,7 @@
 		}
 	}
 	if len(m.Rollouts) > 0 && m.Rollouts[len(m.Rollouts)-1].Missing != nil {
-		writeSection(&b, "Changes that are not in force everywhere", incomplete)
+		writeSection(&b, "Contract changes not yet applied by all entry processes", incomplete)
 	}
 	return b.String()
 }
