Complete clipped errors about contracts

Errors said "not below the promised instances" and "both above 0, and above 0 with accelerators"; they now say "not below the number of promised instances" and "both above 0 if accelerators is above 0". The two disruption settings in the reference use the same words.

--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -145,7 +145,7 @@
 	for _, p := range c.Pools {
 		instances += p.Instances
 		if c.SparePool == p.Pool {
-			d.addProblem("spare", "pool", string(c.SparePool), "also a promised pool", "a pool without a section [pool NAME]")
+			d.addProblem("spare", "pool", string(c.SparePool), "pool is also a promised pool", "a pool without a section [pool NAME]")
 		}
 	}
 	if len(c.Pools) == 0 && d.noProblemIn("pool ") {
@@ -159,7 +159,7 @@
 	q := c.Quota
 	if ((q.MilliCores == 0) != (q.MemoryMiB == 0) || q.Accelerators > 0 && q.MilliCores == 0) && d.noProblemIn("quota/") {
 		d.addProblem("quota", "milli-cores", fmt.Sprint(q.MilliCores), fmt.Sprintf("inconsistent with memory-mib = %d and accelerators = %d", q.MemoryMiB, q.Accelerators),
-			"milli-cores and memory-mib both 0 or both above 0, and above 0 with accelerators")
+			"milli-cores and memory-mib both 0 or both above 0; both above 0 if accelerators is above 0")
 	}
 }
 
@@ -167,11 +167,11 @@
 // sum of the promised instances over all pools.
 func checkDisruption(d *decoder[model.Contract], c *model.Contract, instances int) {
 	if c.MaxUnavailable >= instances && d.noProblemIn("pool ", "disruption/max-unavailable") {
-		d.addProblem("disruption", "max-unavailable", fmt.Sprint(c.MaxUnavailable), "not below the promised instances",
+		d.addProblem("disruption", "max-unavailable", fmt.Sprint(c.MaxUnavailable), "not below the number of promised instances",
 			fmt.Sprintf("0 to %d", instances-1))
 	}
 	if maxBudget := c.WindowMillis * clock.Millis(instances); c.BudgetMillis > maxBudget && d.noProblemIn("pool ", "disruption/budget-ms", "disruption/window-ms") {
-		d.addProblem("disruption", "budget-ms", fmt.Sprint(c.BudgetMillis), "above window-ms times the promised instances",
+		d.addProblem("disruption", "budget-ms", fmt.Sprint(c.BudgetMillis), "above window-ms times the number of promised instances",
 			fmt.Sprintf("at most %d", maxBudget))
 	}
 	if (c.MaxUnavailable == 0) != (c.BudgetMillis == 0) && d.noProblemIn("disruption/") {
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -174,8 +174,8 @@
 				return err == nil && n >= 1 && n <= 100_000
 			},
 		},
-		intKey("disruption", "max-unavailable", "instances", "", 0, 100_000, "the customer's instances that may be out of service at once, planned and unplanned together; below the sum of the promised instances", func(c *contract) *int { return &c.MaxUnavailable }),
-		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over instances, that is allowed in one window; at most window-ms times the promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
+		intKey("disruption", "max-unavailable", "instances", "", 0, 100_000, "the customer's instances that may be out of service at once, planned and unplanned together; below the number of promised instances, summed over the pools", func(c *contract) *int { return &c.MaxUnavailable }),
+		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over instances, that is allowed in one window; at most window-ms times the number of promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
 		intKey("disruption", "window-ms", "ms", "", clock.Second, 366*clock.Day, "length of the window to which budget-ms applies", func(c *contract) *clock.Millis { return &c.WindowMillis }),
 		intKey("spare", "instances", "instances", "0", 0, 100_000, "idle instances reserved for the customer", func(c *contract) *int { return &c.Spare }),
 		optional(textKey("spare", "pool", "", nameRule, "pool that holds the spare instances; not a promised pool", func(c *contract) *model.Pool { return &c.SparePool })),
