lend: rename Quarantined to LoansUncertain

Quarantine means a bad worker in sched and place. route already calls loans of an earlier run that may still be in use LoansUncertain; lend does now too, and its end is loansUncertainUntil.

--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -166,7 +166,7 @@
 		Zone: cfg.Zone, Rank: zoneRank, Count: zoneCount,
 		Lending: d.loans.Enabled(), ReservePercent: cfg.Lending.ReservePercent,
 	}, policy)
-	d.router.LoansUncertain = d.loans.Quarantined(clk.Now())
+	d.router.LoansUncertain = d.loans.LoansUncertain(clk.Now())
 	d.requestPool.New = func() any { return &pendingRequest{reply: make(chan struct{}, 1)} }
 	return d
 }
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -76,7 +76,7 @@
 
 // syncLoans passes the number of lent slots of each upstream to the router.
 func (d *Dispatcher[P, Q, L]) syncLoans(now clock.Millis) {
-	d.router.LoansUncertain = d.loans.Quarantined(now)
+	d.router.LoansUncertain = d.loans.LoansUncertain(now)
 	d.loans.TakeChanges(func(id model.InstanceID, lent int) {
 		before := d.router.SetLent(id, lent)
 		if (before == 0) != (lent == 0) {
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -38,8 +38,8 @@
 	// unacknowledged lists the processes that may hold loans of earlier runs of
 	// this process, with the time of the next recall to each. All such loans
 	// have ended at quarantineEnd.
-	unacknowledged map[model.Process]clock.Millis
-	quarantineEnd  clock.Millis
+	unacknowledged      map[model.Process]clock.Millis
+	loansUncertainUntil clock.Millis
 
 	held       map[ID]*HeldLoan
 	pools      map[model.Pool]*poolLoans
@@ -67,18 +67,18 @@
 			l.unacknowledged[m.Name] = 0
 		}
 	}
-	l.quarantineEnd = now + cfg.Lease + cfg.MaxRequestTime
+	l.loansUncertainUntil = now + cfg.Lease + cfg.MaxRequestTime
 	return l
 }
 
 // Enabled reports whether lending is turned on.
 func (l *Ledger[P]) Enabled() bool { return l.cfg.Lease > 0 }
 
-// Quarantined reports whether loans of an earlier run of this process may be in
+// LoansUncertain reports whether loans of an earlier run of this process may be in
 // use. While they may, the process must leave its lendable slots unused and
 // must not confirm the release of an instance.
-func (l *Ledger[P]) Quarantined(now clock.Millis) bool {
-	if len(l.unacknowledged) > 0 && now >= l.quarantineEnd {
+func (l *Ledger[P]) LoansUncertain(now clock.Millis) bool {
+	if len(l.unacknowledged) > 0 && now >= l.loansUncertainUntil {
 		clear(l.unacknowledged)
 	}
 	return len(l.unacknowledged) > 0
@@ -104,7 +104,7 @@
 // returns one upstream, or false if it is not routable.
 func (l *Ledger[P]) Grant(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
 	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
-	if !l.Enabled() || l.Quarantined(now) {
+	if !l.Enabled() || l.LoansUncertain(now) {
 		return out
 	}
 	end := now + l.cfg.Lease + max(l.cfg.MaxRequestTime, req.MaxRequestTime)
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -31,7 +31,7 @@
 
 // appendRecalls appends the due recalls while this process is quarantined.
 func (l *Ledger[P]) appendRecalls(now clock.Millis, buf []Message) []Message {
-	if !l.Quarantined(now) {
+	if !l.LoansUncertain(now) {
 		return buf
 	}
 	for p, due := range l.unacknowledged {
--- a/core/state/lend/simulation_test.go
+++ b/core/state/lend/simulation_test.go
@@ -147,7 +147,7 @@
 // syncRouter passes the state of the loans to the router, as the dispatcher
 // does.
 func (s *simulation) syncRouter(p *proc) {
-	p.router.LoansUncertain = p.ledger.Quarantined(s.localTime(p))
+	p.router.LoansUncertain = p.ledger.LoansUncertain(s.localTime(p))
 	p.ledger.TakeChanges(func(id model.InstanceID, n int) { p.router.SetLent(id, n) })
 }
 
