--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -146,10 +146,10 @@
 	})
 }
 
-// BenchmarkSeverity reports how each refusal policy decides on 300 contracts of one
+// BenchmarkRefusalPolicy reports how each refusal policy decides on 300 contracts of one
 // to sixty instances, and how many of those that it accepts need more instances
 // than the fleet owns.
-func BenchmarkSeverity(b *testing.B) {
+func BenchmarkRefusalPolicy(b *testing.B) {
 	benchRefusalPolicy(b, "stated", RefuseImpossible{})
 	benchRefusalPolicy(b, "strict", RefuseAny{})
 	benchRefusalPolicy(b, "form-only", RefuseInvalid{})
