maint, mover: use one name for the share of unserved requests

Planner.SetPressure, PacerInput.PressurePermille, WavePlanner.SetFailurePermille and CustomerLoad.Impaired named the same figure; they are SetUnservedPermille, UnservedPermille and Unserved now, and the settings and limits that depend on it follow. The written limit name pressure stays.

--- a/core/coord/entry/load.go
+++ b/core/coord/entry/load.go
@@ -39,7 +39,7 @@
 // limit of the contract.
 func (l *loadCounters) countRefusal(c model.Customer, p model.Pool, k RefusalKind) {
 	if k == RefusalCapacity || k == RefusalDeadline {
-		l.customer(c).Impaired++
+		l.customer(c).Unserved++
 		l.refusedByPool[p]++
 	}
 }
@@ -54,7 +54,7 @@
 	i.Calls++
 	switch o {
 	case route.OutcomeUnknown, route.OutcomeTimeout:
-		l.customer(c).Impaired++
+		l.customer(c).Unserved++
 		i.Failures++
 	case route.OutcomeError, route.OutcomeConnect:
 		i.Failures++
--- a/core/coord/mover/load.go
+++ b/core/coord/mover/load.go
@@ -37,7 +37,7 @@
 func (t *loadTotals) add(x model.LoadReport) {
 	for _, c := range x.Customers {
 		n := t.customers[c.Customer]
-		t.customers[c.Customer] = requestCount{n.total + float64(c.Requests), n.failed + float64(c.Impaired)}
+		t.customers[c.Customer] = requestCount{n.total + float64(c.Requests), n.failed + float64(c.Unserved)}
 	}
 	for _, i := range x.Instances {
 		n := t.instances[i.Instance]
@@ -76,7 +76,7 @@
 	}
 	t.updatedAt = now
 	for name := range m.table.Contracts {
-		m.Waves.SetFailurePermille(name, t.customers[name].permille())
+		m.Waves.SetUnservedPermille(name, t.customers[name].permille())
 	}
 	for id, c := range t.instances {
 		o := m.observed[id]
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -72,7 +72,7 @@
 		drained: map[model.Process]model.Version{},
 	}
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
-	set := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PressureRetryMillis: 1000}
+	set := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PacerRetryMillis: 1000}
 	waves := NewWavePlanner(maint.FullSpeedPacer{}, maint.NeverStop{}, set)
 	capacity := NewCapacityPlanner(plan.Spread{}, plan.Settings{}, 30_000, NewSurgePlanner(plan.QueueOnly{}, plan.Weights{}, false))
 	w.mover = New(testConfig{
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -74,10 +74,10 @@
 	w.planner.SetObservation(id, s)
 }
 
-// SetFailurePermille sets the share of a customer's requests that were impaired,
+// SetUnservedPermille sets the share of a customer's requests that were impaired,
 // in permille.
-func (w *WavePlanner[P, J]) SetFailurePermille(c model.Customer, permille int) {
-	w.planner.SetPressure(c, permille)
+func (w *WavePlanner[P, J]) SetUnservedPermille(c model.Customer, permille int) {
+	w.planner.SetUnservedPermille(c, permille)
 }
 
 // Pass returns the steps that are due.
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -38,7 +38,7 @@
 				planner := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod())
 				planner.Load(f.input())
 				for f.unfinished(m) > 0 && f.now < m.DeclaredAt+3*clock.Day {
-					sample := f.setPeakPressure()
+					sample := f.setPeakUnserved()
 					sendChanges(f, planner)
 					for _, s := range planner.Pass(f.now).Steps {
 						if s.Kind == StepReturn && !s.Done {
@@ -70,13 +70,13 @@
 // pressure in excess of that with a complete fleet, in permille.
 type peakSample struct{ count, excess int }
 
-// setPeakPressure sets the pressure of the present minute. Hours with load peaks
+// setPeakUnserved sets the pressure of the present minute. Hours with load peaks
 // alternate with quiet hours, shifted by peakShift. In an hour with peaks, half of
 // the minutes have a peak that exceeds the capacity of the pool: the pressure is
 // 20 permille with a complete fleet and 25 permille more for each instance out of
 // service. The planner gets a moving average over about four minutes, because peaks
 // are shorter than a maintenance.
-func (f *fakeFleet) setPeakPressure() peakSample {
+func (f *fakeFleet) setPeakUnserved() peakSample {
 	n := 0
 	for id, i := range f.instances {
 		if isOutOfService(i, f.observations[id]) {
@@ -88,7 +88,7 @@
 		p = 20 + 25*n
 	}
 	for _, c := range f.contracts {
-		f.pressure[c.Customer] = (3*f.pressure[c.Customer] + p) / 4
+		f.unservedPermille[c.Customer] = (3*f.unservedPermille[c.Customer] + p) / 4
 	}
 	return peakSample{count: n, excess: max(0, p-20)}
 }
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -13,8 +13,8 @@
 	contract model.Contract
 	// pools lists the promised pools and the spare pool.
 	pools []model.Pool
-	// pressure is the permille of requests that were refused or late.
-	pressure int
+	// unservedPermille is the permille of requests that were refused or late.
+	unservedPermille int
 	// unavailable holds the customer's instances that are out of service.
 	unavailable map[model.InstanceID]unavailability
 	// domainCounts counts the instances that are in maintenance or lost, by
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -19,11 +19,11 @@
 	instances    map[model.InstanceID]model.Instance
 	observations map[model.InstanceID]Observation
 	// nextEvent is the time at which the drain or restart of an instance ends.
-	nextEvent map[model.InstanceID]clock.Millis
-	contracts []model.Contract
-	decls     []model.Maintenance
-	outages   []Outage
-	pressure  map[model.Customer]int
+	nextEvent        map[model.InstanceID]clock.Millis
+	contracts        []model.Contract
+	decls            []model.Maintenance
+	outages          []Outage
+	unservedPermille map[model.Customer]int
 	// failTouched makes touched instances fail their requests.
 	failTouched bool
 	violations  []string
@@ -39,7 +39,7 @@
 	f := &fakeFleet{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: clock.Day, instances: map[model.InstanceID]model.Instance{},
 		observations: map[model.InstanceID]Observation{}, nextEvent: map[model.InstanceID]clock.Millis{},
-		pressure: map[model.Customer]int{}, firstUnmet: map[string]clock.Millis{},
+		unservedPermille: map[model.Customer]int{}, firstUnmet: map[string]clock.Millis{},
 	}
 	for k := range n {
 		zone := k % zones
@@ -62,7 +62,7 @@
 }
 
 func (f *fakeFleet) input() Input {
-	in := Input{Observations: f.observations, Contracts: f.contracts, Declarations: f.decls, Outages: f.outages, Pressure: f.pressure}
+	in := Input{Observations: f.observations, Contracts: f.contracts, Declarations: f.decls, Outages: f.outages, UnservedPermille: f.unservedPermille}
 	for _, id := range sortedKeys(f.instances) {
 		in.Instances = append(in.Instances, f.instances[id])
 	}
@@ -97,8 +97,8 @@
 			planner.SetOutage(o)
 		}
 	}
-	for c, p := range f.pressure {
-		planner.SetPressure(c, p)
+	for c, p := range f.unservedPermille {
+		planner.SetUnservedPermille(c, p)
 	}
 }
 
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -27,9 +27,9 @@
 	MarginMillis clock.Millis
 	// PeriodicStart is the time from which periodic maintenance applies.
 	PeriodicStart clock.Millis
-	// PressureRetryMillis is the time after which a pool that waits for lower
+	// PacerRetryMillis is the time after which a pool that waits for lower
 	// pressure is evaluated again.
-	PressureRetryMillis clock.Millis
+	PacerRetryMillis clock.Millis
 	// FullScan disables the index: every pass evaluates the whole fleet. It
 	// exists to measure what the index saves.
 	FullScan bool
@@ -39,7 +39,7 @@
 func Defaults() Settings {
 	return Settings{
 		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
-		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, PressureRetryMillis: clock.Minute,
+		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, PacerRetryMillis: clock.Minute,
 	}
 }
 
@@ -78,9 +78,9 @@
 	Contracts    []model.Contract
 	Declarations []model.Maintenance
 	Outages      []Outage
-	// Pressure is the permille of each customer's requests that were refused or
+	// UnservedPermille is the permille of each customer's requests that were refused or
 	// late.
-	Pressure map[model.Customer]int
+	UnservedPermille map[model.Customer]int
 }
 
 // StepKind is the kind of a maintenance step.
@@ -121,7 +121,7 @@
 	LimitMaxUnavailable LimitName = "max-unavailable"
 	LimitWindow         LimitName = "window-budget"
 	LimitDomain         LimitName = "failure-domain"
-	LimitPressure       LimitName = "pressure"
+	LimitUnserved       LimitName = "pressure"
 	LimitLost           LimitName = "lost"
 	LimitPlatform       LimitName = "platform"
 )
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -120,11 +120,11 @@
 		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back", c.Covers)
 		return scopeRack, true
 	}
-	maxConcurrent := pl.pacer.MaxConcurrent(PacerInput{PressurePermille: cs.pressure, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: pl.neededForDeadline(it, cs, now)})
+	maxConcurrent := pl.pacer.MaxConcurrent(PacerInput{UnservedPermille: cs.unservedPermille, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: pl.neededForDeadline(it, cs, now)})
 	if cs.byCause[causeMaintenance] >= maxConcurrent {
-		wait.Limit, wait.Current, wait.Max = LimitPressure, int64(cs.byCause[causeMaintenance]), int64(maxConcurrent)
-		wait.Until = now + pl.settings.PressureRetryMillis
-		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", cs.pressure)
+		wait.Limit, wait.Current, wait.Max = LimitUnserved, int64(cs.byCause[causeMaintenance]), int64(maxConcurrent)
+		wait.Until = now + pl.settings.PacerRetryMillis
+		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", cs.unservedPermille)
 		return scopeItem, true
 	}
 	return scopeItem, false
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -139,15 +139,15 @@
 	}
 }
 
-// TestPressureSlowsWave guards against a pacer that ignores pressure, and against
+// TestUnservedRequestsSlowWave guards against a pacer that ignores pressure, and against
 // waits that name the wrong limit or do not say what ends them.
-func TestPressureSlowsWave(t *testing.T) {
+func TestUnservedRequestsSlowWave(t *testing.T) {
 	f := newFakeFleet(3, 30, 3, 1, 1, model.DomainZone, 6)
 	f.instances["i0000"] = maintainedAt(f.instances["i0000"], f.now)
 	f.now += clock.Hour
 	f.decls = []model.Maintenance{{Name: "firmware", DeclaredAt: clock.Day, Deadline: 9 * clock.Day}}
 	releasesAt := func(p int) (int, Plan) {
-		f.pressure["c00"] = p
+		f.unservedPermille["c00"] = p
 		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, settingsWithoutPeriod(), f.input(), f.now)
 		return len(plan.Steps), plan
 	}
@@ -155,7 +155,7 @@
 		n, plan := releasesAt(c.pressure)
 		assert.Equal(t, n, c.steps, "pressure %d", c.pressure)
 		assert.Equal(t, len(plan.Waits), 1)
-		want := LimitPressure
+		want := LimitUnserved
 		if c.pressure == 0 {
 			want = LimitMaxUnavailable
 		}
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -2,9 +2,9 @@
 
 // PacerInput is the input of a pacer for one customer.
 type PacerInput struct {
-	// PressurePermille is the share of the customer's requests that were refused
+	// UnservedPermille is the share of the customer's requests that were refused
 	// or late.
-	PressurePermille int
+	UnservedPermille int
 	// MaxUnavailable is the limit of the customer's contract.
 	MaxUnavailable int
 	// NeededForDeadline is the number of concurrent maintenances that just meets
@@ -36,10 +36,10 @@
 // MaxConcurrent returns at least 1 below HaltPermille, so that a wave continues
 // under light pressure.
 func (p ProportionalPacer) MaxConcurrent(in PacerInput) int {
-	if in.PressurePermille >= p.HaltPermille {
+	if in.UnservedPermille >= p.HaltPermille {
 		return 0
 	}
-	return min(in.MaxUnavailable, max(1, in.MaxUnavailable*(p.HaltPermille-in.PressurePermille)/p.HaltPermille))
+	return min(in.MaxUnavailable, max(1, in.MaxUnavailable*(p.HaltPermille-in.UnservedPermille)/p.HaltPermille))
 }
 
 // DeadlinePacer slows down like ProportionalPacer, but below HaltPermille it
@@ -55,7 +55,7 @@
 // MaxConcurrent returns the larger of the proportional limit and the number that
 // the deadline needs, within the limit of the contract.
 func (p DeadlinePacer) MaxConcurrent(in PacerInput) int {
-	if in.PressurePermille >= p.HaltPermille {
+	if in.UnservedPermille >= p.HaltPermille {
 		return 0
 	}
 	return min(in.MaxUnavailable, max(in.NeededForDeadline, ProportionalPacer{HaltPermille: p.SlowPermille}.MaxConcurrent(in)))
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -74,7 +74,7 @@
 // NewPlanner returns a planner without instances.
 func NewPlanner[P Pacer, S StopPolicy](pacer P, stopPolicy S, set Settings) *Planner[P, S] {
 	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
-	set.PressureRetryMillis = max(set.PressureRetryMillis, 1)
+	set.PacerRetryMillis = max(set.PacerRetryMillis, 1)
 	pl := &Planner[P, S]{
 		pacer: pacer, stopPolicy: stopPolicy, settings: set,
 		items:           map[model.InstanceID]*item{},
@@ -123,8 +123,8 @@
 	for _, o := range in.Outages {
 		pl.SetOutage(o)
 	}
-	for c, p := range in.Pressure {
-		pl.SetPressure(c, p)
+	for c, p := range in.UnservedPermille {
+		pl.SetUnservedPermille(c, p)
 	}
 }
 
@@ -177,11 +177,11 @@
 func (pl *Planner[P, S]) SetContract(c model.Contract) {
 	pressure := 0
 	if old := pl.customers[c.Customer]; old != nil {
-		pressure = old.pressure
+		pressure = old.unservedPermille
 	}
 	pl.RemoveContract(c.Customer)
 	cs := newCustomerState(c)
-	cs.pressure = pressure
+	cs.unservedPermille = pressure
 	for _, p := range cs.pools {
 		pl.uncountPool(p)
 	}
@@ -269,14 +269,14 @@
 	}
 }
 
-// SetPressure sets the permille of a customer's requests that were refused or
+// SetUnservedPermille sets the permille of a customer's requests that were refused or
 // late.
-func (pl *Planner[P, S]) SetPressure(c model.Customer, permille int) {
+func (pl *Planner[P, S]) SetUnservedPermille(c model.Customer, permille int) {
 	cs := pl.customers[c]
-	if cs == nil || cs.pressure == permille {
+	if cs == nil || cs.unservedPermille == permille {
 		return
 	}
-	cs.pressure = permille
+	cs.unservedPermille = permille
 	pl.markPools(cs)
 }
 
--- a/core/state/model/load_report.go
+++ b/core/state/model/load_report.go
@@ -13,10 +13,10 @@
 type CustomerLoad struct {
 	Customer Customer
 	Requests int64
-	// Impaired counts the requests that were refused for lack of capacity or time,
+	// Unserved counts the requests that were refused for lack of capacity or time,
 	// or whose outcome is unknown; at most Requests. Refusals by a limit of the
 	// contract do not count.
-	Impaired int64
+	Unserved int64
 }
 
 // InstanceTally counts the requests that one instance ran.
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -209,7 +209,7 @@
 		})
 	}
 	for _, c := range r.Load.Customers {
-		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Requests, Suffered: c.Impaired})
+		w.Customers = append(w.Customers, &wirepb.CustomerFelt{Customer: string(c.Customer), Asks: c.Requests, Suffered: c.Unserved})
 	}
 	for _, i := range r.Load.Instances {
 		w.Tallies = append(w.Tallies, &wirepb.InstanceTally{Instance: string(i.Instance), Calls: i.Calls, Failures: i.Failures})
@@ -241,7 +241,7 @@
 	}
 	for _, c := range w.GetCustomers() {
 		r.Load.Customers = append(r.Load.Customers, model.CustomerLoad{
-			Customer: model.Customer(c.GetCustomer()), Requests: c.GetAsks(), Impaired: c.GetSuffered(),
+			Customer: model.Customer(c.GetCustomer()), Requests: c.GetAsks(), Unserved: c.GetSuffered(),
 		})
 	}
 	for _, i := range w.GetTallies() {
