entry, route: mend a garbled comment and say which version and window are meant

execute was said to execute a execute; the reason for publishing before the reply, the drained version, restored upstreams and the peak window had to be guessed.

--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -52,7 +52,7 @@
 	reply chan struct{}
 }
 
-// execute executes a execute in the event loop.
+// execute executes a command in the event loop.
 func (d *Dispatcher[P, Q, L]) execute(now clock.Millis, c *command) {
 	switch c.op {
 	case opApplyDelta:
@@ -80,9 +80,9 @@
 	case opLoans:
 		c.loans(now)
 	}
-	// The values that other goroutines read without a message are published
-	// before the caller is notified. So the drained version is never overstated,
-	// and the caller sees what its command changed.
+	// Publish before the caller is notified: then the caller sees what its command
+	// changed, and reads no drained version that was computed before the command
+	// and is too high after it.
 	d.publish()
 	close(c.reply)
 }
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -83,7 +83,7 @@
 	done        chan struct{}
 	stop        sync.Once
 	requestPool sync.Pool
-	// drainedCopy and readyCopy are copies of the drained version and of
+	// drainedCopy and readyCopy are copies of the router's DrainedVersion and of
 	// ready for other goroutines.
 	drainedCopy   atomic.Uint64
 	readyCopy     atomic.Bool
@@ -228,8 +228,8 @@
 	}
 }
 
-// tick handles what depends on time alone: expired leases and requests, restored
-// upstreams, loans and the report of refusals.
+// tick handles what depends on time alone: expired leases and requests, upstreams
+// whose ejection has ended, loans and the report of refusals.
 func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
 	d.expiredAnnouncements = d.announcements.Expire(now, d.expiredAnnouncements[:0])
 	for _, r := range d.expiredAnnouncements {
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -28,8 +28,8 @@
 		return buf
 	}
 	for i := range pu.members {
-		// The first upstream rotates with the choices of the pool, so that loans
-		// spread over the upstreams.
+		// Each request routed to the pool rotates which upstream comes first, so
+		// that loans spread over the upstreams.
 		u := pu.members[(i+int(pu.choices%uint64(len(pu.members))))%len(pu.members)]
 		if !u.Ejected(now) {
 			buf = append(buf, u.slots(waiting))
@@ -59,7 +59,7 @@
 	}
 }
 
-// RotatePeaks starts a new period for the peaks of all upstreams: Peak becomes
+// RotatePeaks starts a new peak window for all upstreams: Peak becomes
 // PreviousPeak.
 func (r *Router[P]) RotatePeaks() {
 	for _, u := range r.upstreams {
