maint, mover, model: describe the share of unserved requests alike

Comments called it pressure, failures, impaired, or refused or late; the code also counts timeouts and unknown outcomes. The text of the wait says so too.

--- a/core/coord/mover/load.go
+++ b/core/coord/mover/load.go
@@ -10,11 +10,12 @@
 	// loadInterval is the time between two updates of the wave planner.
 	loadInterval = 5 * clock.Second
 	// loadDecay is the factor applied to the counts after each update, so that
-	// they cover about the last three minutes. A load peak is shorter than a
-	// maintenance, so that counts of the peak alone had no effect on the waves.
+	// they cover about the last three minutes. Counts of the latest interval alone
+	// had no effect on the waves, because a load peak is shorter than a
+	// maintenance.
 	loadDecay = 0.97
-	// minRequests is the number of requests below which the failure share counts
-	// as 0.
+	// minRequests is the number of requests below which the share of unserved
+	// requests counts as 0.
 	minRequests = 20
 )
 
@@ -26,7 +27,8 @@
 	updatedAt clock.Millis
 }
 
-// requestCount counts requests and those of them that failed or were impaired.
+// requestCount counts requests and, as failed, the unserved requests of a customer
+// or the failed requests of an instance.
 type requestCount struct{ total, failed float64 }
 
 func newLoadTotals() loadTotals {
@@ -45,8 +47,8 @@
 	}
 }
 
-// permille returns the share of failed requests in permille, or 0 when there are
-// fewer than minRequests.
+// permille returns the share of requests counted as failed in permille, or 0 when
+// there are fewer than minRequests.
 func (c requestCount) permille() int {
 	if c.total < minRequests {
 		return 0
@@ -66,9 +68,10 @@
 	}
 }
 
-// observeLoad passes the failure shares of customers and the failure counts of
-// instances to the wave planner, so that waves slow down under pressure, or stop
-// when maintained instances fail more than their peers.
+// observeLoad passes the shares of unserved requests of customers and the failure
+// counts of instances to the wave planner, so that waves slow down while many
+// requests are unserved, and stop when maintained instances fail more than their
+// peers.
 func (m *Mover[G, P, C, J, A, S]) observeLoad(now clock.Millis) {
 	t := &m.load
 	if now-t.updatedAt < loadInterval {
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -22,8 +22,8 @@
 	// instances as lost or moves instances; entry processes report every second.
 	warmUpTime = 5 * clock.Second
 	// LossGrace is the time after which an absent instance is marked as lost,
-	// counted from when no entry process reports it. The lease of its
-	// announcement has expired by then.
+	// counted from when no entry process reports it any more: by then the lease
+	// of its announcement has expired.
 	LossGrace = 2 * clock.Second
 	// callTimeout is the limit for one call to the group or the platform.
 	callTimeout clock.Millis = 2000
@@ -52,7 +52,8 @@
 // called from any goroutine.
 type Mover[G Group, P Platform, C maint.Pacer, J maint.StopPolicy, A plan.Policy, S plan.Chooser] struct {
 	Config[G, P, C, J, A, S]
-	in    *ring.Ring[input]
+	in *ring.Ring[input]
+	// done is closed by Stop, and ended when Run returns.
 	done  chan struct{}
 	ended chan struct{}
 
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -74,7 +74,7 @@
 	w.planner.SetObservation(id, s)
 }
 
-// SetUnservedPermille sets the share of a customer's requests that were impaired,
+// SetUnservedPermille sets the share of a customer's requests that were not served,
 // in permille.
 func (w *WavePlanner[P, J]) SetUnservedPermille(c model.Customer, permille int) {
 	w.planner.SetUnservedPermille(c, permille)
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -10,8 +10,8 @@
 )
 
 // BenchmarkWave reports for each pacer the cost of a wave over a whole fleet of 50
-// instances: roll-out time, instance-minutes out of service, excess pressure in
-// load peaks, releases taken back, missed deadlines and limit violations. The
+// instances: roll-out time, instance-minutes out of service, the excess of unserved
+// requests in load peaks over those of a complete fleet, releases taken back, missed deadlines and limit violations. The
 // first four are means over 10 seeds, the others totals.
 func BenchmarkWave(b *testing.B) {
 	for _, u := range []struct {
@@ -66,15 +66,15 @@
 	})
 }
 
-// peakSample is the number of instances out of service in one minute and the
-// pressure in excess of that with a complete fleet, in permille.
+// peakSample is the number of instances out of service in one minute, and by how
+// many permille the share of unserved requests exceeds that of a complete fleet.
 type peakSample struct{ count, excess int }
 
-// setPeakUnserved sets the pressure of the present minute. Hours with load peaks
-// alternate with quiet hours, shifted by peakShift. In an hour with peaks, half of
-// the minutes have a peak that exceeds the capacity of the pool: the pressure is
-// 20 permille with a complete fleet and 25 permille more for each instance out of
-// service. The planner gets a moving average over about four minutes, because peaks
+// setPeakUnserved sets the share of unserved requests in the present minute. Hours
+// with load peaks alternate with quiet hours, shifted by peakShift. In an hour with
+// peaks, half of the minutes have a peak that exceeds the capacity of the pool: the
+// share is 20 permille with a complete fleet and 25 permille more for each instance
+// out of service. The planner gets a moving average over about four minutes, because peaks
 // are shorter than a maintenance.
 func (f *fakeFleet) setPeakUnserved() peakSample {
 	n := 0
@@ -111,6 +111,8 @@
 	}
 }
 
+// benchPasses reports as board-KiB the heap memory of a planner with the whole
+// fleet loaded, in KiB.
 func benchPasses(b *testing.B, f *fakeFleet, scan bool) {
 	set := Defaults()
 	set.FullScan = scan
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -13,7 +13,7 @@
 	contract model.Contract
 	// pools lists the promised pools and the spare pool.
 	pools []model.Pool
-	// unservedPermille is the permille of requests that were refused or late.
+	// unservedPermille is the share of requests that were not served.
 	unservedPermille int
 	// unavailable holds the customer's instances that are out of service.
 	unavailable map[model.InstanceID]unavailability
--- a/core/state/maint/deadline_check.go
+++ b/core/state/maint/deadline_check.go
@@ -33,7 +33,7 @@
 }
 
 // checkWave estimates for each customer when the wave will be done and returns
-// the time of the next check. Checks are frequent enough to notice a change, and
+// the time of the next check, or 0 if none is needed. Checks are frequent enough to notice a change, and
 // one always takes place at the last time at which maintenance can start and
 // still meet the deadline.
 func (pl *Planner[P, S]) checkWave(w *wave, now clock.Millis) clock.Millis {
@@ -73,8 +73,9 @@
 	// waiting counts the instances whose maintenance has not started, by failure
 	// domain.
 	waiting map[string]int
-	// expectedEnds holds the expected end times of the maintenances in progress,
-	// which are all in busyDomain.
+	// expectedEnds holds the expected end times of the maintenances in progress.
+	// These are all in busyDomain, because a customer's instances are maintained
+	// in one domain at a time.
 	expectedEnds []clock.Millis
 	busyDomain   string
 }
--- a/core/state/maint/doc.go
+++ b/core/state/maint/doc.go
@@ -3,8 +3,8 @@
 // the others waiting.
 //
 // A Planner is an index over the replicated state, the observations of
-// instances and the pressure on callers. All of its content derives from these
-// inputs, so a new leader that loads a new Planner from them makes the same
+// instances and the shares of unserved requests. All of its content derives from
+// these inputs, so a new leader that loads a new Planner from them makes the same
 // decisions. Each planning pass considers only what has changed or become due
 // since the previous pass.
 package maint
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -27,8 +27,8 @@
 	MarginMillis clock.Millis
 	// PeriodicStart is the time from which periodic maintenance applies.
 	PeriodicStart clock.Millis
-	// PacerRetryMillis is the time after which a pool that waits for lower
-	// pressure is evaluated again.
+	// PacerRetryMillis is the time after which an instance that the pacer holds
+	// back is evaluated again.
 	PacerRetryMillis clock.Millis
 	// FullScan disables the index: every pass evaluates the whole fleet. It
 	// exists to measure what the index saves.
@@ -78,8 +78,8 @@
 	Contracts    []model.Contract
 	Declarations []model.Maintenance
 	Outages      []Outage
-	// UnservedPermille is the permille of each customer's requests that were refused or
-	// late.
+	// UnservedPermille is the share of each customer's requests that were not
+	// served.
 	UnservedPermille map[model.Customer]int
 }
 
@@ -121,9 +121,11 @@
 	LimitMaxUnavailable LimitName = "max-unavailable"
 	LimitWindow         LimitName = "window-budget"
 	LimitDomain         LimitName = "failure-domain"
-	LimitUnserved       LimitName = "pressure"
-	LimitLost           LimitName = "lost"
-	LimitPlatform       LimitName = "platform"
+	// LimitUnserved is the limit that the pacer derives from the share of
+	// unserved requests.
+	LimitUnserved LimitName = "pressure"
+	LimitLost     LimitName = "lost"
+	LimitPlatform LimitName = "platform"
 )
 
 // Wait describes why due maintenance of a pool does not start.
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -124,7 +124,7 @@
 	if cs.byCause[causeMaintenance] >= maxConcurrent {
 		wait.Limit, wait.Current, wait.Max = LimitUnserved, int64(cs.byCause[causeMaintenance]), int64(maxConcurrent)
 		wait.Until = now + pl.settings.PacerRetryMillis
-		wait.Unblock = fmt.Sprintf("the callers' pressure falls below %d permille", cs.unservedPermille)
+		wait.Unblock = fmt.Sprintf("the share of unserved requests falls below %d permille", cs.unservedPermille)
 		return scopeItem, true
 	}
 	return scopeItem, false
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -98,7 +98,7 @@
 }
 
 // TestFeasibleDeadlinesAreMet guards against missing a deadline that equals the
-// estimate at the declaration, for each pacer, while there is no pressure.
+// estimate at the declaration, for each pacer, while all requests are served.
 func TestFeasibleDeadlinesAreMet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "n")
@@ -139,8 +139,9 @@
 	}
 }
 
-// TestUnservedRequestsSlowWave guards against a pacer that ignores pressure, and against
-// waits that name the wrong limit or do not say what ends them.
+// TestUnservedRequestsSlowWave guards against a pacer that ignores unserved
+// requests, and against waits that name the wrong limit or do not say what ends
+// them.
 func TestUnservedRequestsSlowWave(t *testing.T) {
 	f := newFakeFleet(3, 30, 3, 1, 1, model.DomainZone, 6)
 	f.instances["i0000"] = maintainedAt(f.instances["i0000"], f.now)
@@ -151,12 +152,12 @@
 		plan := PlanOnce(DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, NeverStop{}, settingsWithoutPeriod(), f.input(), f.now)
 		return len(plan.Steps), plan
 	}
-	for _, c := range []struct{ pressure, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
-		n, plan := releasesAt(c.pressure)
-		assert.Equal(t, n, c.steps, "pressure %d", c.pressure)
+	for _, c := range []struct{ unservedPermille, steps int }{{0, 6}, {25, 3}, {60, 1}, {200, 0}} {
+		n, plan := releasesAt(c.unservedPermille)
+		assert.Equal(t, n, c.steps, "unserved %d permille", c.unservedPermille)
 		assert.Equal(t, len(plan.Waits), 1)
 		want := LimitUnserved
-		if c.pressure == 0 {
+		if c.unservedPermille == 0 {
 			want = LimitMaxUnavailable
 		}
 		assert.Equal(t, plan.Waits[0].Limit, want)
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -2,8 +2,8 @@
 
 // PacerInput is the input of a pacer for one customer.
 type PacerInput struct {
-	// UnservedPermille is the share of the customer's requests that were refused
-	// or late.
+	// UnservedPermille is the share of the customer's requests that were not
+	// served, in permille; see model.CustomerLoad.
 	UnservedPermille int
 	// MaxUnavailable is the limit of the customer's contract.
 	MaxUnavailable int
@@ -13,28 +13,28 @@
 }
 
 // Pacer decides how many of a customer's instances may be in maintenance at
-// once, given the pressure on its callers.
+// once, given the share of its requests that are not served.
 type Pacer interface {
 	MaxConcurrent(PacerInput) int
 }
 
 // FullSpeedPacer is the baseline: it allows as many as the contract, regardless
-// of the pressure.
+// of unserved requests.
 type FullSpeedPacer struct{}
 
 // MaxConcurrent returns the limit of the contract.
 func (FullSpeedPacer) MaxConcurrent(in PacerInput) int { return in.MaxUnavailable }
 
-// ProportionalPacer slows down in proportion to the pressure and stops at
-// HaltPermille.
+// ProportionalPacer slows down in proportion to the share of unserved requests and
+// stops at HaltPermille.
 type ProportionalPacer struct {
-	// HaltPermille is the pressure at which no more maintenance starts; at least
-	// 1.
+	// HaltPermille is the share of unserved requests at which no more maintenance
+	// starts; at least 1.
 	HaltPermille int
 }
 
 // MaxConcurrent returns at least 1 below HaltPermille, so that a wave continues
-// under light pressure.
+// while few requests are unserved.
 func (p ProportionalPacer) MaxConcurrent(in PacerInput) int {
 	if in.UnservedPermille >= p.HaltPermille {
 		return 0
@@ -45,9 +45,9 @@
 // DeadlinePacer slows down like ProportionalPacer, but below HaltPermille it
 // always allows as many as the deadline needs.
 type DeadlinePacer struct {
-	// SlowPermille is the pressure from which only as many are allowed as the
-	// deadline needs. HaltPermille, at least SlowPermille, is the pressure at
-	// which no more maintenance starts.
+	// SlowPermille is the share of unserved requests from which only as many are
+	// allowed as the deadline needs. HaltPermille, at least SlowPermille, is the
+	// share at which no more maintenance starts.
 	SlowPermille int
 	HaltPermille int
 }
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -60,8 +60,8 @@
 	// wave is the pending wave with the earliest deadline; nil for none.
 	wave     *wave
 	deadline clock.Millis
-	// pendingIn, touchedBy, peerIn and observedIn list the waves that count the
-	// instance as pending, touched, peer and observed.
+	// pendingIn, touchedBy, peerIn and observedIn list the waves in whose pending,
+	// touched, peers and observedCount the instance is included; see wave.
 	pendingIn  []*wave
 	touchedBy  []*wave
 	peerIn     []*wave
@@ -175,13 +175,13 @@
 
 // SetContract adds the contract of a customer or replaces it.
 func (pl *Planner[P, S]) SetContract(c model.Contract) {
-	pressure := 0
+	unservedPermille := 0
 	if old := pl.customers[c.Customer]; old != nil {
-		pressure = old.unservedPermille
+		unservedPermille = old.unservedPermille
 	}
 	pl.RemoveContract(c.Customer)
 	cs := newCustomerState(c)
-	cs.unservedPermille = pressure
+	cs.unservedPermille = unservedPermille
 	for _, p := range cs.pools {
 		pl.uncountPool(p)
 	}
@@ -269,8 +269,8 @@
 	}
 }
 
-// SetUnservedPermille sets the permille of a customer's requests that were refused or
-// late.
+// SetUnservedPermille sets the share of a customer's requests that were not served,
+// in permille.
 func (pl *Planner[P, S]) SetUnservedPermille(c model.Customer, permille int) {
 	cs := pl.customers[c]
 	if cs == nil || cs.unservedPermille == permille {
--- a/core/state/model/doc.go
+++ b/core/state/model/doc.go
@@ -1,3 +1,3 @@
-// Package model defines the types of the domain: plain structs with no behaviour
-// beyond their names and simple derived values.
+// Package model defines the types of the domain: plain structs whose methods only
+// return names and simple derived values.
 package model
--- a/core/state/model/load_report.go
+++ b/core/state/model/load_report.go
@@ -14,8 +14,8 @@
 	Customer Customer
 	Requests int64
 	// Unserved counts the requests that were refused for lack of capacity or time,
-	// or whose outcome is unknown; at most Requests. Refusals by a limit of the
-	// contract do not count.
+	// that timed out, or whose outcome is unknown; at most Requests. Refusals by a
+	// limit of the contract and errors that an instance answered do not count.
 	Unserved int64
 }
 
