sched: name the unit of values with the type clock.Millis

DriftPermille is a ratio, and work and load are milli-cores (times milliseconds); the type suggested times.

--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -104,7 +104,7 @@
 	// these can be given tasks.
 	available map[jobs.WorkerID]*worker
 	// newWork is the work submitted since the last update of arrivalRate, in
-	// milli-cores times milliseconds.
+	// milli-cores times milliseconds, although its type is clock.Millis.
 	newWork clock.Millis
 	// arrivalRate is the moving average of the work that arrives per
 	// millisecond, in milli-cores, over about half a second.
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -316,8 +316,8 @@
 }
 
 // finiteWork returns the work of some tasks of a step, each of the given
-// duration, in milli-cores times milliseconds; 0 for long-running and
-// best-effort tasks.
+// duration; 0 for long-running and best-effort tasks. The unit is milli-cores
+// times milliseconds, although the type is clock.Millis.
 func finiteWork(step *jobs.Step, tasks int, duration clock.Millis) clock.Millis {
 	if step.LongRunning || step.BestEffort {
 		return 0
@@ -325,9 +325,10 @@
 	return clock.Millis(tasks*step.Resources.MilliCores) * duration
 }
 
-// load returns the milli-cores that the worker's tasks need to finish within
-// the given time: the whole reservation of a long-running task, and the
-// remaining work of other tasks divided by that time.
+// load returns the processors that the worker's tasks need to finish within the
+// given time: the whole reservation of a long-running task, and the remaining work
+// of other tasks divided by that time. The unit is milli-cores, although the type
+// is clock.Millis.
 func (w *worker) load(now, within clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	for _, r := range w.runs {
@@ -352,7 +353,8 @@
 }
 
 // waitingWork returns the waiting work of a pool that can still meet its
-// deadline, in milli-cores times milliseconds.
+// deadline. The unit is milli-cores times milliseconds, although the type is
+// clock.Millis.
 func (p *pool) waitingWork() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -11,7 +11,8 @@
 	// sent a heartbeat.
 	LeaseMillis clock.Millis
 	// DriftPermille is the maximum by which a worker's clock may run slow, in
-	// permille.
+	// permille. It is a ratio and not a time: it has the type clock.Millis only
+	// because LeaseMillis is multiplied by it.
 	DriftPermille clock.Millis
 	// MaxHoldMillis limits the delay of the reply to a heartbeat. A worker
 	// drops a reply that arrives more than a second after its heartbeat.
