lend, place, limits: finish the renamed terms and name milli-cores as such

A comment still said quarantined; parameters named cores hold milli-cores. The metric board-KiB is explained. A sizer's window and its report count are plainer.

--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -37,7 +37,7 @@
 	changed []model.InstanceID
 	// unacknowledged lists the processes that may hold loans of earlier runs of
 	// this process, with the time of the next recall to each. All such loans
-	// have ended at quarantineEnd.
+	// have ended by loansUncertainUntil.
 	unacknowledged      map[model.Process]clock.Millis
 	loansUncertainUntil clock.Millis
 
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -29,7 +29,7 @@
 	return buf
 }
 
-// appendRecalls appends the due recalls while this process is quarantined.
+// appendRecalls appends the due recalls while loans of an earlier run are uncertain.
 func (l *Ledger[P]) appendRecalls(now clock.Millis, buf []Message) []Message {
 	if !l.LoansUncertain(now) {
 		return buf
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -146,8 +146,8 @@
 	})
 }
 
-// BenchmarkRefusalPolicy reports how each refusal policy decides on 300 contracts of one
-// to sixty instances, and how many of those that it accepts need more instances
+// BenchmarkRefusalPolicy reports how each refusal policy decides on 300 contracts of
+// one to sixty instances, and how many of those that it accepts need more instances
 // than the fleet owns.
 func BenchmarkRefusalPolicy(b *testing.B) {
 	benchRefusalPolicy(b, "stated", RefuseImpossible{})
--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -59,16 +59,16 @@
 }
 
 // placeAll runs the tasks once and returns the figures of the run.
-func placeAll[F FitPolicy, S Sizer](fit F, sizer S, seed uint64, cores int) (result placementResult) {
+func placeAll[F FitPolicy, S Sizer](fit F, sizer S, seed uint64, milliCores int) (result placementResult) {
 	f := newFake(seed, 50)
 	for _, w := range f.workers {
-		w.size.MilliCores = cores
-		w.size.MemoryMiB = cores * 2
+		w.size.MilliCores = milliCores
+		w.size.MemoryMiB = milliCores * 2
 	}
 	placer := NewPlacer(fit, sizer, PeerComparison{MinScore: 6}, Defaults())
 	f.addWorkers(placer)
 	for k := range 5 {
-		placer.SetContract(customerContract(k, 50*cores/3))
+		placer.SetContract(customerContract(k, 50*milliCores/3))
 	}
 	startedAt := f.now
 	submittedAt := map[TaskID]clock.Millis{}
@@ -76,7 +76,7 @@
 		if step < 150 {
 			for n := range 6 {
 				k := f.rnd.IntN(5)
-				x := f.newTask(k, step*6+n, (1+f.rnd.IntN(4))*cores/16, clock.Millis(20+f.rnd.IntN(60))*clock.Second, []int{40, 80, 100, 200, 300}[k])
+				x := f.newTask(k, step*6+n, (1+f.rnd.IntN(4))*milliCores/16, clock.Millis(20+f.rnd.IntN(60))*clock.Second, []int{40, 80, 100, 200, 300}[k])
 				x.Urgent = f.rnd.IntN(20) == 0
 				if placer.Submit(x) != nil {
 					result.violations++
@@ -156,6 +156,8 @@
 	}
 }
 
+// benchmarkPasses reports as board-KiB the heap memory of a placer with all workers
+// and tasks, in KiB.
 func benchmarkPasses(b *testing.B, workers int, scan bool) {
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -24,8 +24,8 @@
 	inFlight    []delivery
 	// violations describes tasks that ran on two workers at once.
 	violations []string
-	// overload and usedCores sum up, over all steps, the cores used beyond the
-	// size of workers and all cores used.
+	// usedCores sums up the cores in use at each step, and overload the part of
+	// them that exceeds the size of the worker.
 	overload  float64
 	usedCores float64
 }
@@ -86,8 +86,8 @@
 	f.inFlight = append(f.inFlight, delivery{f.now + delay, do})
 }
 
-// run returns the run that an action refers to, or an unused one if it has
-// ended.
+// run returns the run that an action refers to. If that has ended, it returns a
+// new one, so that the action has no effect.
 func (f *fakePlatform) run(a Action) *fakeRun {
 	if r := f.workers[a.Worker].runs[a.Task]; r != nil && r.attempt == a.Attempt {
 		return r
@@ -146,14 +146,14 @@
 		if w.leaseEnd < f.now {
 			clear(w.runs)
 		}
-		cores := 0
+		milliCores := 0
 		for _, tid := range sortedKeys(w.runs) {
 			r, actual := w.runs[tid], f.actual[tid]
 			if other := runsOn[tid]; other != "" {
 				f.violations = append(f.violations, fmt.Sprintf("%s runs on %s and %s", tid, other, id))
 			}
 			runsOn[tid] = id
-			cores += actual.size.MilliCores * r.cpuPercent / 100
+			milliCores += actual.size.MilliCores * r.cpuPercent / 100
 			f.advance(w, tid, r, step, func(o Outcome) { f.send(id, func() { placer.RunEnded(tid, r.attempt, o, f.now) }) })
 			if f.rnd.IntN(4) == 0 {
 				usage := actual.size
@@ -161,8 +161,8 @@
 				f.send(id, func() { placer.ReportUsage(tid, r.attempt, usage) })
 			}
 		}
-		f.usedCores += float64(cores) / 1000
-		f.overload += float64(max(0, cores-w.size.MilliCores)) / 1000
+		f.usedCores += float64(milliCores) / 1000
+		f.overload += float64(max(0, milliCores-w.size.MilliCores)) / 1000
 		if f.now%(2*clock.Second) == 0 {
 			var runs []Run
 			for tid, r := range w.runs {
@@ -199,21 +199,21 @@
 	}
 }
 
-// newTask returns a task whose declared processors are the given percentage of
-// what it uses.
-func (f *fakePlatform) newTask(customer, n, cores int, duration clock.Millis, declaredPercent int) Task {
+// newTask returns a task that uses the given milli-cores and declares a percentage
+// of them.
+func (f *fakePlatform) newTask(customer, n, milliCores int, duration clock.Millis, declaredPercent int) Task {
 	t := Task{
 		ID: TaskID(fmt.Sprintf("t%d-%05d", customer, n)), Customer: model.Customer(fmt.Sprintf("team%d", customer)),
-		Class: fmt.Sprintf("class%d", cores), Submitted: f.now, CanCheckpoint: n%3 == 0, CanThrottle: n%3 == 1,
-		Declared: Size{MilliCores: cores * declaredPercent / 100, MemoryMiB: 512},
+		Class: fmt.Sprintf("class%d", milliCores), Submitted: f.now, CanCheckpoint: n%3 == 0, CanThrottle: n%3 == 1,
+		Declared: Size{MilliCores: milliCores * declaredPercent / 100, MemoryMiB: 512},
 	}
-	f.actual[t.ID] = &actualTask{size: Size{MilliCores: cores, MemoryMiB: 512}, duration: duration}
+	f.actual[t.ID] = &actualTask{size: Size{MilliCores: milliCores, MemoryMiB: 512}, duration: duration}
 	return t
 }
 
-func customerContract(k, cores int) model.Contract {
+func customerContract(k, milliCores int) model.Contract {
 	return model.Contract{
 		Customer: model.Customer(fmt.Sprintf("team%d", k)), MaxUnavailable: 2, BudgetMillis: 40 * clock.Second, WindowMillis: clock.Minute,
-		Quota: model.Quota{MilliCores: cores, MemoryMiB: 1 << 20},
+		Quota: model.Quota{MilliCores: milliCores, MemoryMiB: 1 << 20},
 	}
 }
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -31,8 +31,8 @@
 // Estimate returns the declared size.
 func (Declared) Estimate(_ Class, declared Size) Size { return declared }
 
-// minReports is the number of reports from which on they replace the declared
-// size: a single one may come from a task that has only just started.
+// minReports is the number of reports that a class needs before they replace the
+// declared size: a single one may come from a task that has only just started.
 const minReports = 3
 
 // Deviation reserves the mean of past use plus a number of standard deviations.
@@ -110,7 +110,8 @@
 	return &Quantile{Percent: percent, seen: map[Class]*window{}}
 }
 
-// Observe replaces the oldest report of the class.
+// Observe adds a report, which replaces the oldest one of the class once there are
+// windowReports.
 func (q *Quantile) Observe(c Class, used Size) {
 	w := q.seen[c]
 	if w == nil {
