--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -22,7 +22,7 @@
 	neighbourTimeout clock.Millis = 500
 	// fallbackDelay is the time without an answer of a control member after which a
 	// process without a table accepts one from its neighbours, and a process with a
-	// table confirms it by itself if no neighbour answers either. It is a time and
+	// table goes on with that table if no neighbour answers either. It is a time and
 	// not a number of rounds, because a round over unresponsive members takes
 	// seconds.
 	fallbackDelay = 5 * clock.Second
@@ -57,11 +57,11 @@
 	version atomic.Uint64
 	// inForceSince is the time in milliseconds at which the table was applied.
 	inForceSince atomic.Int64
-	// lastContact is the time in milliseconds of the last answer of a control
-	// member; 0 for none.
+	// lastContact is the time in milliseconds of the last accepted answer of a
+	// control member; 0 for none.
 	lastContact atomic.Int64
-	// lastAnswered is set when the last call to a control member was answered. The
-	// next member may then delay its answer.
+	// lastAnswered is set when the last call to a control member returned a delta
+	// that was applied. Only then may the next member delay its answer.
 	lastAnswered bool
 	// unansweredSince is the start of the first round in which no control member
 	// answered; 0 after an answer.
@@ -90,7 +90,8 @@
 // InForceSince returns the time at which the table was applied.
 func (p *Poller[S]) InForceSince() clock.Millis { return clock.Millis(p.inForceSince.Load()) }
 
-// LastContact returns the time of the last answer of a control member; 0 for none.
+// LastContact returns the time of the last accepted answer of a control member; 0
+// for none.
 func (p *Poller[S]) LastContact() clock.Millis { return clock.Millis(p.lastContact.Load()) }
 
 // Run polls until Stop.
@@ -183,8 +184,8 @@
 
 // pollNeighbours applies the neighbours' tables while no control member answers. A
 // process without a table tries control members for fallbackDelay first. A process
-// with a table that gets no answer from anyone for fallbackDelay confirms its own
-// table, because a partitioned zone must go on serving.
+// with a table that gets no answer from anyone for fallbackDelay applies an empty
+// delta, which confirms its own table, because a partitioned zone must go on serving.
 func (p *Poller[S]) pollNeighbours(ctx context.Context) {
 	mayFallBack := p.clock.Now()-p.unansweredSince >= fallbackDelay
 	if p.Version() == 0 && !mayFallBack {
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -100,6 +100,7 @@
 	g.pendingReads[g.lastReadContext] = in.reply
 }
 
+// step passes messages of other members to the Raft node.
 func (g *Group[S, C]) step(messages []raft.Message) {
 	now := g.clock.Now()
 	for _, m := range messages {
@@ -173,9 +174,9 @@
 	return s
 }
 
-// failPending fails all proposals, reads and joins that wait for this member's
-// leadership. Their error has KindOutcomeUnknown, or KindNotLeader for reads:
-// the next leader may still commit the proposals.
+// failPending fails all pending proposals, reads and joins, because this member no
+// longer leads or has stopped. Proposals and joins fail with KindOutcomeUnknown,
+// since the next leader may still commit them, and reads with KindNotLeader.
 func (g *Group[S, C]) failPending(reason string) {
 	for index, p := range g.pendingProposals {
 		g.counts.OutcomesUnknown++
--- a/core/state/plan/harness_test.go
+++ b/core/state/plan/harness_test.go
@@ -40,8 +40,9 @@
 	return h
 }
 
-// userContracts returns one contract of a pool of each size with a spare pool.
-// In the benchmarks, both operators have such a contract, of five pools.
+// userContracts returns one contract that promises a pool of each of the sizes and
+// has spare instances in a spare pool. The benchmarks use it with five pools, as in
+// the contracts of both operators.
 func userContracts(covers model.FailureDomain, spare int, sizes ...int) []model.Contract {
 	c := model.Contract{Customer: "user", Covers: covers, Spare: spare, SparePool: "spare"}
 	for k, n := range sizes {
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -132,8 +132,8 @@
 	}
 	if t, ok := n.log.term(prev); !ok || t != prevTerm {
 		hint, term := n.log.findConflictByTerm(min(prev-1, n.log.last()), prevTerm)
-		// This log agrees with the leader's up to the commit index, so that the
-		// leader need not go back further.
+		// This log agrees with the leader's up to the commit index, so the leader
+		// need not go back further.
 		if hint < n.commit {
 			hint, term = n.commit, n.termAt(n.commit)
 		}
@@ -162,8 +162,8 @@
 
 // onAppendReply records the entries that a member has acknowledged. A reply to a
 // probe changes the member to stateReplicate. The transfer of a snapshot ends when
-// the member has acknowledged the snapshot, or when the log holds the last entry
-// that the member has.
+// the member has acknowledged the snapshot, or when appends can continue because the
+// log holds the entry at match.
 func (n *Node) onAppendReply(m Message, p *progress) {
 	if m.Reject {
 		n.onReject(m, p)
