Begin the remaining test comments with the name of the test

24 doc comments in lend, limits, place and plan began with Guards against; the tests of the other packages name the test first, as Go doc comments do. Their words are the same.

--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -9,8 +9,8 @@
 	"camphorridge/core/state/model"
 )
 
-// Guards against a split that leaves own slots without a connection, or that
-// gives loans more connections than were reserved for them.
+// TestSplit guards against a split that leaves own slots without a connection, or
+// that gives loans more connections than were reserved for them.
 func TestSplit(t *testing.T) {
 	for slots := range 20 {
 		for connections := range 80 {
@@ -25,7 +25,8 @@
 	assert.DeepEqual(t, []int{own, lendable, perSlot}, []int{16, 3, 5})
 }
 
-// Guards against requests without need, and against loans of slots in use.
+// TestIdle guards against requests without need, and against loans of slots in
+// use.
 func TestIdle(t *testing.T) {
 	for _, c := range []struct {
 		p    Pressure
@@ -78,9 +79,9 @@
 	return LoanResponse{Incarnation: incarnation, Lease: 1000, Loans: []Loan{{ID: requestLoanID(m.Request.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
-// Guards against use of a loan after its lease, which counts from the time of
-// the request, and against a loan that is not renewed while used or not
-// returned while idle.
+// TestLeaseCountsFromTheRequest guards against use of a loan after its lease,
+// which counts from the time of the request, and against a loan that is not
+// renewed while used or not returned while idle.
 func TestLeaseCountsFromTheRequest(t *testing.T) {
 	l := newTestLedger()
 	m := dueMessage(t, l, 100, demand)
@@ -101,9 +102,9 @@
 	assert.Equal(t, l.Counts.HeldSlots, int64(0))
 }
 
-// Guards against loans of a lender's earlier run whose response arrived after
-// its recall was acknowledged, and against slots that stay lent because the
-// response that granted them was lost.
+// TestIgnoredResponses guards against loans of a lender's earlier run whose
+// response arrived after its recall was acknowledged, and against slots that stay
+// lent because the response that granted them was lost.
 func TestIgnoredResponses(t *testing.T) {
 	l := newTestLedger()
 	m := dueMessage(t, l, 100, demand)
@@ -120,7 +121,8 @@
 	assert.Equal(t, a.Lent("i"), 0)
 }
 
-// Guards against requests that wait in a pool in which nobody lends slots.
+// TestMayBorrowEndsWhenAllRefuse guards against requests that wait in a pool in
+// which nobody lends slots.
 func TestMayBorrowEndsWhenAllRefuse(t *testing.T) {
 	l := newTestLedger()
 	m := dueMessage(t, l, 100, demand)
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// Guards against a derived limit whose value does not follow from its operands.
+// TestDeriveKeepsDerivation guards against a derived limit whose value does not
+// follow from its operands.
 func TestDeriveKeepsDerivation(t *testing.T) {
 	s := Derive(MinSlots{}, contract(42, 8, model.DomainRack), fleetOf(50, 8))
 	assert.Equal(t, s.Concurrency.Value, int64(336))
@@ -49,7 +50,8 @@
 	assert.Equal(t, len(s.All()), 9)
 }
 
-// Guards against a shortfall that is not reported or has the wrong numbers.
+// TestEvaluateReportsShortfalls guards against a shortfall that is not reported or
+// has the wrong numbers.
 func TestEvaluateReportsShortfalls(t *testing.T) {
 	settings := Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}
 	inputWith := func(f func(*Input)) Input {
@@ -99,9 +101,10 @@
 	}
 }
 
-// Guards against a spare shortfall that is not reported although an exhaustive
-// search finds no spread of the instances that survives the loss of a zone, and
-// against one that is reported although there is such a spread.
+// TestSpareShortfallAgainstExhaustiveSearch guards against a spare shortfall that
+// is not reported although an exhaustive search finds no spread of the instances
+// that survives the loss of a zone, and against one that is reported although
+// there is such a spread.
 func TestSpareShortfallAgainstExhaustiveSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 12).Draw(t, "n")
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -62,10 +62,10 @@
 	}
 }
 
-// Guards against a task that runs on two workers at once, an exceeded quota or
-// disruption budget, and forgotten tasks. Messages are lost and late, workers
-// are partitioned, declarations are wrong, and there are urgent tasks and
-// cancellations.
+// TestPlacementUnderFaults guards against a task that runs on two workers at once,
+// an exceeded quota or disruption budget, and forgotten tasks. Messages are lost
+// and late, workers are partitioned, declarations are wrong, and there are urgent
+// tasks and cancellations.
 func TestPlacementUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
@@ -133,7 +133,8 @@
 	})
 }
 
-// Guards against the start of a task beyond its customer's quota.
+// TestQuotaIsNotExceeded guards against the start of a task beyond its customer's
+// quota.
 func TestQuotaIsNotExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
@@ -158,8 +159,8 @@
 	})
 }
 
-// Guards against impossible tasks that wait instead of being rejected, and
-// against errors that do not state the sizes.
+// TestImpossibleWorkIsRefused guards against impossible tasks that wait instead of
+// being rejected, and against errors that do not state the sizes.
 func TestImpossibleWorkIsRefused(t *testing.T) {
 	f := newFake(1, 3)
 	placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
@@ -216,8 +217,8 @@
 	return kinds, reason
 }
 
-// Guards against an action that is used before a milder one, and against
-// disruptions beyond the budget.
+// TestPreemptionOrderAndBudget guards against an action that is used before a
+// milder one, and against disruptions beyond the budget.
 func TestPreemptionOrderAndBudget(t *testing.T) {
 	kinds, _ := preemptionActions(t, 4, clock.Hour)
 	assert.DeepEqual(t, kinds, []ActionKind{ActionCheckpoint, ActionCheckpoint, ActionThrottle, ActionStop})
@@ -228,8 +229,9 @@
 	assert.Equal(t, len(kinds), 0)
 }
 
-// Guards against a worker that fails everything and still gets tasks, and
-// against workers quarantined for tasks that fail everywhere.
+// TestBrokenWorkersAndFailingTasks guards against a worker that fails everything
+// and still gets tasks, and against workers quarantined for tasks that fail
+// everywhere.
 func TestBrokenWorkersAndFailingTasks(t *testing.T) {
 	failedRuns, quarantined := runHealthPolicy(PeerComparison{MinScore: 6}, 1, true, false)
 	assert.DeepEqual(t, quarantined, []WorkerID{"w0003"})
@@ -238,8 +240,9 @@
 	assert.Equal(t, len(quarantined), 0)
 }
 
-// Guards against a new leader that starts a task which still runs, or which a
-// late message of the previous leader starts after the change.
+// TestNewLeaderStartsNothingTwice guards against a new leader that starts a task
+// which still runs, or which a late message of the previous leader starts after
+// the change.
 func TestNewLeaderStartsNothingTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
@@ -292,8 +295,8 @@
 	})
 }
 
-// Guards against many cancellations at once that leave tasks running or
-// waiting, or that delay urgent tasks.
+// TestManyCancellationsAtOnce guards against many cancellations at once that leave
+// tasks running or waiting, or that delay urgent tasks.
 func TestManyCancellationsAtOnce(t *testing.T) {
 	f := newFake(1, 40)
 	settings := Defaults()
@@ -337,8 +340,8 @@
 	}
 }
 
-// Guards against a late report about an attempt of an earlier leader that ends
-// the current run.
+// TestAttemptsDifferBetweenTerms guards against a late report about an attempt of
+// an earlier leader that ends the current run.
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
 	f := newFake(1, 1)
 	start := func(term int) (*Placer[BestFit, Declared, NoQuarantine], int) {
@@ -359,9 +362,9 @@
 	assert.Equal(t, placer.tasks["t0-00001"].phase, PhaseRunning)
 }
 
-// Guards against workers that stay quarantined because of a task that turned
-// out to fail everywhere, under a policy that does not compare workers with
-// their peers.
+// TestGivenUpTaskRestoresWorkerScores guards against workers that stay quarantined
+// because of a task that turned out to fail everywhere, under a policy that does
+// not compare workers with their peers.
 func TestGivenUpTaskRestoresWorkerScores(t *testing.T) {
 	f := newFake(1, 4)
 	settings := Defaults()
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -10,9 +10,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Guards against an instance in two pools, promised instances that stay missing
-// although there are enough, unneeded moves, and an index that decides
-// differently from the state it was filled from.
+// TestAssignUnderLosses guards against an instance in two pools, promised
+// instances that stay missing although there are enough, unneeded moves, and an
+// index that decides differently from the state it was filled from.
 func TestAssignUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		contracts := drawContracts(t, 4)
@@ -67,7 +67,8 @@
 	}
 }
 
-// Guards against a repair for one customer that uses up the reserve of another.
+// TestReserveOfOtherCustomersIsKept guards against a repair for one customer that
+// uses up the reserve of another.
 func TestReserveOfOtherCustomersIsKept(t *testing.T) {
 	contracts := []model.Contract{
 		{Customer: "a", Spare: 1, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: 3}}},
@@ -170,8 +171,8 @@
 	return [3]int{promised*100 + spare, exposed, len(a.Moves)}, optimalOutcome(in, []Pool{"new", "pa", "pb", "spare"})
 }
 
-// Guards against a policy that leaves more instances missing than the optimum,
-// or that reports a better result than it.
+// TestGapToOptimum guards against a policy that leaves more instances missing than
+// the optimum, or that reports a better result than it.
 func TestGapToOptimum(t *testing.T) {
 	for seed := range uint64(12) {
 		got, best := outcomeAndOptimum(Balance{}, seed)
@@ -180,8 +181,9 @@
 	}
 }
 
-// Guards against a reported exposure that differs from the instances that are
-// missing after a real loss of the failure domain and its repair.
+// TestExposureIsWhatALossLeavesMissing guards against a reported exposure that
+// differs from the instances that are missing after a real loss of the failure
+// domain and its repair.
 func TestExposureIsWhatALossLeavesMissing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		promised, spare := rapid.IntRange(1, 6).Draw(t, "promised"), rapid.IntRange(0, 4).Draw(t, "spare")
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -105,8 +105,9 @@
 	}
 }
 
-// Guards against a surge that takes promised instances or the minimum spare,
-// and against instances that move back and forth within one peak.
+// TestSurgeKeepsPromisesAndSettles guards against a surge that takes promised
+// instances or the minimum spare, and against instances that move back and forth
+// within one peak.
 func TestSurgeKeepsPromisesAndSettles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newSurgeHarness(rapid.Uint64().Draw(t, "seed"), 8, 9, 8, 8, 9)
@@ -126,8 +127,8 @@
 	})
 }
 
-// Guards against a decision that does not follow the weights, and against a
-// choice without costs and a reason.
+// TestWeightsDetermineAction guards against a decision that does not follow the
+// weights, and against a choice without costs and a reason.
 func TestWeightsDetermineAction(t *testing.T) {
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
 	demand := Demand{Pool: "p", NeededSlots: 96, ServiceMillis: 200, QueueLimit: 2000, HighSince: 1000}
@@ -157,8 +158,8 @@
 	assert.Equal(t, len(extras), 0)
 }
 
-// Guards against donors that give up instances which they need, with weights
-// that let pools give up promised instances.
+// TestDonorsKeepWhatTheyUse guards against donors that give up instances which
+// they need, with weights that let pools give up promised instances.
 func TestDonorsKeepWhatTheyUse(t *testing.T) {
 	weights := RolloutFirst()
 	weights.Donate, weights.MinSpare = true, 8
