--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -60,7 +60,8 @@
 	loans []*HeldLoan
 	// pendingSlots is the number of requested slots without a response.
 	pendingSlots int
-	// pressureSince is the start of the pressure; 0 means there is none.
+	// pressureSince is the time since which requests have waited for slots without
+	// a break; 0 if none wait.
 	pressureSince clock.Millis
 	// refusedUntil holds the time until which a lender is not asked again.
 	refusedUntil map[model.Process]clock.Millis
--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -17,28 +17,28 @@
 // 80, 100, 200 or 300 percent of what their tasks use.
 func BenchmarkPlace(b *testing.B) {
 	for _, u := range []struct {
-		name  string
-		cores int
+		name       string
+		milliCores int
 	}{{"pruefkette", 16000}, {"pomar-alto", 32000}} {
-		benchmarkPlacement(b, u.name+"/first-fit/declared", FirstFit{}, func() Declared { return Declared{} }, u.cores)
-		benchmarkPlacement(b, u.name+"/best-fit/declared", BestFit{}, func() Declared { return Declared{} }, u.cores)
-		benchmarkPlacement(b, u.name+"/best-fit/deviation", BestFit{}, func() *Deviation { return NewDeviation(1) }, u.cores)
-		benchmarkPlacement(b, u.name+"/best-fit/quantile", BestFit{}, func() *Quantile { return NewQuantile(90) }, u.cores)
-		benchmarkPlacement(b, u.name+"/worst-fit/quantile", WorstFit{}, func() *Quantile { return NewQuantile(90) }, u.cores)
-		benchmarkPlacement(b, u.name+"/first-fit/quantile", FirstFit{}, func() *Quantile { return NewQuantile(90) }, u.cores)
+		benchmarkPlacement(b, u.name+"/first-fit/declared", FirstFit{}, func() Declared { return Declared{} }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/best-fit/declared", BestFit{}, func() Declared { return Declared{} }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/best-fit/deviation", BestFit{}, func() *Deviation { return NewDeviation(1) }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/best-fit/quantile", BestFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/worst-fit/quantile", WorstFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/first-fit/quantile", FirstFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
 	}
 }
 
 type placementResult struct{ seconds, idle, overload, disruptions, starts, urgent, violations float64 }
 
-func benchmarkPlacement[F FitPolicy, S Sizer](b *testing.B, name string, fit F, sizer func() S, cores int) {
+func benchmarkPlacement[F FitPolicy, S Sizer](b *testing.B, name string, fit F, sizer func() S, milliCores int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 3
 		var sum placementResult
 		for b.Loop() {
 			sum = placementResult{}
 			for seed := range uint64(seeds) {
-				one := placeAll(fit, sizer(), seed, cores)
+				one := placeAll(fit, sizer(), seed, milliCores)
 				sum.seconds += one.seconds / seeds
 				sum.idle += one.idle / seeds
 				sum.overload += one.overload / seeds
