entry, follow, sched, route: mend comments that said less than the code

The drained version also waits for loans; a run's load is that of the latest status and not milli-cores; peaks are kept by window.

--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -96,7 +96,7 @@
 }
 
 // Drained returns the drained version: the highest version of the table such that
-// no request in flight uses an instance released at or below it.
+// no request in flight and no loan uses an instance released at or below it.
 func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drainedCopy.Load()) }
 
 // Ready reports whether requests are admitted: a table was applied, and it was
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -30,8 +30,8 @@
 	Incarnation uint64
 	// Version is the version of the table in force.
 	Version model.Version
-	// Drained is the drained version: no request in flight uses an instance released
-	// at or below it.
+	// Drained is the drained version: no request in flight and no loan uses an
+	// instance released at or below it.
 	Drained model.Version
 	// Live lists the announcements that are new or changed since the last report, or
 	// all of them for a new leader.
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -47,7 +47,7 @@
 	// Like requests in flight, lent slots delay the confirmation of a release.
 	Lent int
 	// Peak is the largest number of requests in flight since the last call of
-	// RotatePeaks, and PreviousPeak the largest number in the period before.
+	// RotatePeaks, and PreviousPeak the largest number in the window before.
 	Peak, PreviousPeak int
 	// Running is the number of requests in flight, of all generations.
 	Running int
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -156,7 +156,9 @@
 	rec    *jobs.Record
 	step   *jobs.Step
 	// listed is set if the worker's latest heartbeat lists the run.
-	listed     bool
+	listed bool
+	// percent and load are those of the latest RunStatus, and checkpoint is the
+	// latest one that is not empty.
 	percent    int
 	load       int
 	checkpoint string
