--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -12,9 +12,9 @@
 
 // BenchmarkPlace reports, for each fit policy and sizer, how 900 tasks of five
 // customers with wrong declarations run on 50 workers: the time until all are
-// done, processors reserved but not used (the buffer), use beyond a worker's
-// size, disruptions and starts; means over 3 seeds. The customers declare 40,
-// 80, 100, 200 or 300 percent of what their tasks use.
+// done, processors reserved but not used, use beyond a worker's size, disruptions
+// and starts; means over 3 seeds. The customers declare 40, 80, 100, 200 or 300
+// percent of what their tasks use.
 func BenchmarkPlace(b *testing.B) {
 	for _, u := range []struct {
 		name       string
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -70,7 +70,7 @@
 type Assignment struct {
 	Moves []Move
 	Gaps  []Gap
-	// Idle is the number of instances beyond what pools promise once the moves
-	// are done, that is, the paid buffer.
+	// Idle is the number of idle instances once the moves are done: all spare
+	// instances, and those that pools have beyond what contracts promise.
 	Idle int
 }
