--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -12,33 +12,33 @@
 
 // BenchmarkPlace reports, for each fit policy and sizer, how 900 tasks of five
 // customers with wrong declarations run on 50 workers: the time until all are
-// done, processors reserved but not used (the buffer), use beyond a worker's
-// size, disruptions and starts; means over 3 seeds. The customers declare 40,
-// 80, 100, 200 or 300 percent of what their tasks use.
+// done, processors reserved but not used, use beyond a worker's size, disruptions
+// and starts; means over 3 seeds. The customers declare 40, 80, 100, 200 or 300
+// percent of what their tasks use.
 func BenchmarkPlace(b *testing.B) {
 	for _, u := range []struct {
-		name  string
-		cores int
+		name       string
+		milliCores int
 	}{{"pruefkette", 16000}, {"pomar-alto", 32000}} {
-		benchmarkPlacement(b, u.name+"/first-fit/declared", FirstFit{}, func() Declared { return Declared{} }, u.cores)
-		benchmarkPlacement(b, u.name+"/best-fit/declared", BestFit{}, func() Declared { return Declared{} }, u.cores)
-		benchmarkPlacement(b, u.name+"/best-fit/deviation", BestFit{}, func() *Deviation { return NewDeviation(1) }, u.cores)
-		benchmarkPlacement(b, u.name+"/best-fit/quantile", BestFit{}, func() *Quantile { return NewQuantile(90) }, u.cores)
-		benchmarkPlacement(b, u.name+"/worst-fit/quantile", WorstFit{}, func() *Quantile { return NewQuantile(90) }, u.cores)
-		benchmarkPlacement(b, u.name+"/first-fit/quantile", FirstFit{}, func() *Quantile { return NewQuantile(90) }, u.cores)
+		benchmarkPlacement(b, u.name+"/first-fit/declared", FirstFit{}, func() Declared { return Declared{} }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/best-fit/declared", BestFit{}, func() Declared { return Declared{} }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/best-fit/deviation", BestFit{}, func() *Deviation { return NewDeviation(1) }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/best-fit/quantile", BestFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/worst-fit/quantile", WorstFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
+		benchmarkPlacement(b, u.name+"/first-fit/quantile", FirstFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
 	}
 }
 
 type placementResult struct{ seconds, idle, overload, disruptions, starts, urgent, violations float64 }
 
-func benchmarkPlacement[F FitPolicy, S Sizer](b *testing.B, name string, fit F, sizer func() S, cores int) {
+func benchmarkPlacement[F FitPolicy, S Sizer](b *testing.B, name string, fit F, sizer func() S, milliCores int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 3
 		var sum placementResult
 		for b.Loop() {
 			sum = placementResult{}
 			for seed := range uint64(seeds) {
-				one := placeAll(fit, sizer(), seed, cores)
+				one := placeAll(fit, sizer(), seed, milliCores)
 				sum.seconds += one.seconds / seeds
 				sum.idle += one.idle / seeds
 				sum.overload += one.overload / seeds
@@ -59,16 +59,16 @@
 }
 
 // placeAll runs the tasks once and returns the figures of the run.
-func placeAll[F FitPolicy, S Sizer](fit F, sizer S, seed uint64, cores int) (result placementResult) {
+func placeAll[F FitPolicy, S Sizer](fit F, sizer S, seed uint64, milliCores int) (result placementResult) {
 	f := newFake(seed, 50)
 	for _, w := range f.workers {
-		w.size.MilliCores = cores
-		w.size.MemoryMiB = cores * 2
+		w.size.MilliCores = milliCores
+		w.size.MemoryMiB = milliCores * 2
 	}
 	placer := NewPlacer(fit, sizer, PeerComparison{MinScore: 6}, Defaults())
 	f.addWorkers(placer)
 	for k := range 5 {
-		placer.SetContract(customerContract(k, 50*cores/3))
+		placer.SetContract(customerContract(k, 50*milliCores/3))
 	}
 	startedAt := f.now
 	submittedAt := map[TaskID]clock.Millis{}
@@ -76,7 +76,7 @@
 		if step < 150 {
 			for n := range 6 {
 				k := f.rnd.IntN(5)
-				x := f.newTask(k, step*6+n, (1+f.rnd.IntN(4))*cores/16, clock.Millis(20+f.rnd.IntN(60))*clock.Second, []int{40, 80, 100, 200, 300}[k])
+				x := f.newTask(k, step*6+n, (1+f.rnd.IntN(4))*milliCores/16, clock.Millis(20+f.rnd.IntN(60))*clock.Second, []int{40, 80, 100, 200, 300}[k])
 				x.Urgent = f.rnd.IntN(20) == 0
 				if placer.Submit(x) != nil {
 					result.violations++
@@ -156,6 +156,8 @@
 	}
 }
 
+// benchmarkPasses reports as board-KiB the heap memory of a placer with all workers
+// and tasks, in KiB.
 func benchmarkPasses(b *testing.B, workers int, scan bool) {
 	var before, after runtime.MemStats
 	runtime.GC()
