--- a/cmd/platform/main.go
+++ b/cmd/platform/main.go
@@ -18,21 +18,21 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run(args []string, out, problems io.Writer) int {
+func run(args []string, out, errOut io.Writer) int {
 	runners := map[string]func(platform.Settings, io.Writer) error{
 		"control": platform.RunControl, "entry": platform.RunEntry,
 	}
 	if len(args) != 1 || runners[args[0]] == nil {
-		fmt.Fprintln(problems, "usage: platform control|entry")
+		fmt.Fprintln(errOut, "usage: platform control|entry")
 		return exitUsage
 	}
 	s, err := platform.LoadSettings()
 	if err != nil {
-		fmt.Fprintln(problems, err)
+		fmt.Fprintln(errOut, err)
 		return exitUsage
 	}
 	if err := runners[args[0]](s, out); err != nil {
-		fmt.Fprintln(problems, err)
+		fmt.Fprintln(errOut, err)
 		return exitFailed
 	}
 	return 0
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -12,8 +12,8 @@
 	"camphorridge/io/proto/report"
 )
 
-// callLeader sends a call about jobs to the leader and calls f with the answer if the call
-// was done. Otherwise it returns an error.
+// callLeader sends a call about jobs to the leader and calls f with the answer if
+// the call was done. Otherwise it returns an error.
 func callLeader(o *options, op string, c runner.Call, f func(runner.Answer) error) error {
 	p, err := newControlClient(o)
 	if err != nil {
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -145,6 +145,7 @@
 	return c, nil
 }
 
+// initialised reports whether the data folder has ever belonged to a group.
 func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
 // newSurgePlanner returns a surge planner with the weights of the operator's
@@ -158,6 +159,7 @@
 	return mover.NewSurgePlanner(plan.Cheapest{}, w, cfg.SurgePreference != "off")
 }
 
+// waveSettings returns the settings of maintenance waves.
 func waveSettings(m conf.Maintenance) maint.Settings {
 	s := maint.Defaults()
 	s.MaintenanceMillis, s.CanaryMillis, s.StuckMillis = m.MaintenanceMillis, m.CanaryMillis, m.StuckMillis
@@ -230,7 +232,7 @@
 	})
 	registerCounters(r, processCounters(c.client.Traffic))
 	registerCounters(r, []counter{{"log-lines-dropped", c.droppedLogLines}})
-	c.jobMetrics(r)
+	c.addJobMetrics(r)
 	_ = admin.RegisterGauge(r, "term", func() int64 { return int64(c.member.Status().Term) })
 	_ = admin.RegisterGauge(r, "commit-index", func() int64 { return int64(c.member.queryStatus(context.Background()).Commit) })
 	consensusCount := func(f func(group.Counts) int64) func() int64 {
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -130,6 +130,7 @@
 	return model.Member{Name: name}
 }
 
+// frontSettings returns the settings of the server for callers.
 func frontSettings(cfg conf.Entry) front.Settings {
 	s := front.Defaults(cfg.Name)
 	s.DefaultTimeout = cfg.Limits.DefaultTimeoutMillis
@@ -173,8 +174,8 @@
 }
 
 // tableAfter returns what a neighbour at version from needs for the current table:
-// an empty delta if it is up to date, otherwise the whole table. ok is false if
-// this process has no table yet.
+// an empty delta if it is up to date, otherwise the whole table. The second
+// result is false if this process has no table yet.
 func (e *Entry) tableAfter(from model.Version) (model.Delta, bool) {
 	v := e.poller.Version()
 	if v == 0 || from >= v {
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -87,8 +87,8 @@
 	return s.Leader.Name, here
 }
 
-// jobMetrics registers the metrics of the job runner.
-func (c *Control) jobMetrics(r metrics.Registry) {
+// addJobMetrics registers the metrics of the job runner.
+func (c *Control) addJobMetrics(r metrics.Registry) {
 	if c.jobs == nil {
 		return
 	}
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -20,8 +20,8 @@
 const statusTimeout = clock.Second
 
 // groupMember is this process's member of the control group as the servers and the
-// mover use it. Until the group has been formed or joined, it can only answer Hello;
-// all other calls fail.
+// mover use it. Until the group has been formed or joined, Hello describes this process,
+// the status is empty, and calls that need the group fail.
 type groupMember struct {
 	self    boot.Hello
 	senders *peers.Senders
@@ -36,12 +36,14 @@
 
 func newMember(h boot.Hello, s *peers.Senders) *groupMember { return &groupMember{self: h, senders: s} }
 
+// setConsensus makes a started consensus group available to all calls.
 func (m *groupMember) setConsensus(d *consensusGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.consensus = d
 }
 
+// getConsensus returns the consensus group, or an error if it isn't set yet.
 func (m *groupMember) getConsensus() (*consensusGroup, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -51,8 +53,8 @@
 	return m.consensus, nil
 }
 
-// updateStatus stores a new status. The event loop of the group calls it after each
-// change of role, term or leader.
+// updateStatus stores a new status and passes the members to the senders. It is
+// called after each change of role, term or leader, and by queryStatus.
 func (m *groupMember) updateStatus(s group.Status) {
 	m.lastStatus.Store(&s)
 	m.senders.Members(s.Members)
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -27,10 +27,9 @@
 	// the leader, and maxPingAge how long a successful check keeps it ready.
 	pingInterval = 500 * clock.Millis(1)
 	maxPingAge   = 1800 * clock.Millis(1)
-	// leaderTimeout is the maximum time of one attempt of a call. A call that was
-	// not executed is also refused after this time. An election
-	// takes one to two seconds; a caller that is refused before its own timeout still
-	// has time to retry.
+	// leaderTimeout is the timeout of one attempt of a call, and the time after which a
+	// call that was certainly not executed is refused. An election takes one to two
+	// seconds, and a caller that is refused early can still retry in time.
 	leaderTimeout = 900 * clock.Millis(1)
 	// retryDelay is the time between two attempts of one call.
 	retryDelay = 100 * clock.Millis(1)
