Correct when the status is updated, and document exit statuses and lastPing

The comment left out changes of the member list and the disk; base and lastPing had no unit or meaning of -1.

--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -12,7 +12,7 @@
 // Version is the version of the program. Releases set it with a linker flag.
 var Version = "development"
 
-// Exit statuses.
+// The exit statuses for errors of KindFailed and of KindUsage.
 const (
 	ExitFailed = 1
 	ExitUsage  = 2
@@ -46,7 +46,8 @@
 
 func failedError(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
 
-// options holds the values of all flags and positional arguments.
+// options holds the values of all flags and positional arguments. Which of them are
+// set depends on the subcommand.
 type options struct {
 	settings string
 	control  string
@@ -57,6 +58,7 @@
 	html     string
 	request  string
 	author   string
+	// base is the base version of a change, or -1 if none is given.
 	base     int
 	pool     string
 	zone     string
@@ -95,6 +97,7 @@
 	return ExitUsage
 }
 
+// exitStatus prints an error and returns its exit status, or 0 if err is nil.
 func exitStatus(err error, errOut io.Writer) int {
 	if err == nil {
 		return 0
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -130,8 +130,8 @@
 	}
 }
 
-// observe records changes of the role, the term and the state of the disk in the
-// event log. The event loop of the group calls it.
+// observe updates the status, and records changes of the role and the term and the
+// start of a disk failure in the event log. The event loop of the group calls it.
 func (f *groupRunner) observe(s group.Status) {
 	before := f.ctrl.member.lastStatus.Load()
 	f.ctrl.member.updateStatus(s)
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -54,7 +54,8 @@
 }
 
 // updateStatus stores a new status and passes the members to the senders. It is
-// called after each change of role, term or leader, and by queryStatus.
+// called after each change of the role, term, leader, member list or disk state, and
+// by queryStatus.
 func (m *groupMember) updateStatus(s group.Status) {
 	m.lastStatus.Store(&s)
 	m.senders.Members(s.Members)
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -64,9 +64,10 @@
 
 // SubmitService is what the HTTP handlers for submitters and readiness checks use.
 type SubmitService struct {
-	leader   *peers.Leader
-	clock    clock.Clock
-	Log      *log.Logger
+	leader *peers.Leader
+	clock  clock.Clock
+	Log    *log.Logger
+	// lastPing is the time of the last successful check, in ms since 1970.
 	lastPing *atomic.Int64
 	leaving  *atomic.Bool
 	stats    *submitStats
