--- a/tests/member_test.go
+++ b/tests/announcement_test.go
@@ -14,7 +14,7 @@
 	"camphorridge/internal/stand"
 )
 
-// announcement is a valid announcement of an instance in zone za.
+// announcement returns a valid announcement of an instance in zone za.
 func announcement(instance, address string) url.Values {
 	return url.Values{
 		"instance": {instance}, "zone": {"za"}, "rack": {"za-r9"}, "pool": {"portal"}, "address": {address},
@@ -22,8 +22,9 @@
 	}
 }
 
-// with returns a copy of a form with other values.
-func with(form url.Values, pairs ...string) url.Values {
+// withValues returns a copy of a form in which each pair of a field and a value
+// replaces the values of the field.
+func withValues(form url.Values, pairs ...string) url.Values {
 	c := maps.Clone(form)
 	for i := 0; i < len(pairs); i += 2 {
 		c[pairs[i]] = []string{pairs[i+1]}
@@ -31,11 +32,11 @@
 	return c
 }
 
-// announce sends a form to an entry process and returns the status and the
-// reason.
+// announce sends a form to an entry process, and returns the status and the
+// reason of the answer.
 func announce(t *testing.T, e *process, body string) (int, string) {
 	t.Helper()
-	resp, err := probes.Post("http://"+e.upstreams+"/announce", "application/x-www-form-urlencoded", strings.NewReader(body))
+	resp, err := probeClient.Post("http://"+e.upstreamAddr+"/announce", "application/x-www-form-urlencoded", strings.NewReader(body))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
@@ -45,15 +46,15 @@
 	return resp.StatusCode, v.Get("reason")
 }
 
-// TestUpstreamReplaced guards against requests that are lost for good with a
-// killed upstream, and against a successor under the same name that is never
-// used or is confused with the process before it.
+// TestUpstreamReplaced guards against requests that keep failing after their
+// upstream was killed, and against a successor under the same name that gets no
+// requests or is confused with the process before it.
 func TestUpstreamReplaced(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
-	f := s.platform["za"]
-	o := f.Upstream("za-i00").Options
-	o.Address = f.Upstream("za-i00").Addr()
-	f.Kill("za-i00")
+	s := startServing(t, threeZones("merge", "merge"))
+	platform := s.platforms["za"]
+	options := platform.Upstream("za-i00").Options
+	options.Address = platform.Upstream("za-i00").Addr()
+	platform.Kill("za-i00")
 	for _, e := range s.callerAddrs("za") {
 		s.wait(e+" to serve without it", func() bool {
 			for range 10 {
@@ -64,15 +65,15 @@
 			return true
 		})
 	}
-	assert.NilError(t, f.Start(o))
-	successor := f.Upstream("za-i00")
+	assert.NilError(t, platform.Start(options))
+	successor := platform.Upstream("za-i00")
 	for _, e := range s.entries[:3] {
 		s.wait(e.name+" to use the successor", func() bool {
-			_, _, body, err := call(t, e.callers, "merge", nil)
+			_, _, body, err := call(t, e.callerAddr, "merge", nil)
 			return err == nil && strings.HasPrefix(body, "za-i00 ")
 		})
-		old := with(announcement("za-i00", o.Address), "pool", "merge", "rack", "za-r0", "incarnation", "1")
-		status, reason := announce(t, e, old.Encode())
+		stale := withValues(announcement("za-i00", options.Address), "pool", "merge", "rack", "za-r0", "incarnation", "1")
+		status, reason := announce(t, e, stale.Encode())
 		assert.Equal(t, status, http.StatusConflict)
 		assert.Assert(t, strings.Contains(reason, "incarnation"), "%s", reason)
 	}
@@ -81,32 +82,32 @@
 }
 
 // TestContradictingAnnouncements guards against an instance that serves two
-// pools, or two processes under one name, because an entry process believed
-// the second of two announcements.
+// pools, and against two processes under one name, because an entry process
+// believed the second of two contradicting announcements.
 func TestContradictingAnnouncements(t *testing.T) {
-	s := serving(t, threeZones("merge"))
-	first := announcement("za-x00", s.host()+":9000")
+	s := startServing(t, threeZones("merge"))
+	first := announcement("za-x00", s.newIP()+":9000")
 	status, reason := announce(t, s.find("e1"), first.Encode())
 	assert.Equal(t, status, http.StatusOK, "%s", reason)
-	held := s.platform["za"].Upstream("za-i00")
+	other := s.platforms["za"].Upstream("za-i00")
 	tests := []struct{ name, field, value string }{
 		{"another pool", "pool", "merge"},
-		{"another address", "address", s.host() + ":9000"},
+		{"another address", "address", s.newIP() + ":9000"},
 		{"a lower incarnation", "incarnation", "4"},
-		{"an address in use", "address", held.Addr()},
+		{"an address in use", "address", other.Addr()},
 		{"another zone", "zone", "zb"},
 	}
 	for _, tt := range tests {
-		// The other entry processes of the zone hear of it from the first.
+		// The other entry processes of the zone learn of the instance from the first.
 		for _, e := range s.entries[:3] {
 			s.wait(e.name+" to refuse "+tt.name, func() bool {
-				// The lease must not lapse meanwhile.
-				kept, _ := announce(t, s.find("e1"), first.Encode())
-				assert.Equal(t, kept, http.StatusOK)
-				if e.name != "e1" && !s.hears(e, "za-x00") {
+				// The lease of the instance must not expire meanwhile.
+				renewed, _ := announce(t, s.find("e1"), first.Encode())
+				assert.Equal(t, renewed, http.StatusOK)
+				if e.name != "e1" && !s.recordedInstance(e, "za-x00") {
 					return false
 				}
-				status, reason = announce(t, e, with(first, tt.field, tt.value).Encode())
+				status, reason = announce(t, e, withValues(first, tt.field, tt.value).Encode())
 				return true
 			})
 			assert.Equal(t, status, http.StatusConflict, "%s to %s", tt.name, e.name)
@@ -121,9 +122,10 @@
 	}
 }
 
-// hears reports whether an entry process recorded that it heard an instance.
-func (s *system) hears(e *process, instance string) bool {
-	resp, err := probes.Get("http://" + e.admin + "/events")
+// recordedInstance reports whether the events of an entry process mention an
+// instance.
+func (s *system) recordedInstance(e *process, instance string) bool {
+	resp, err := probeClient.Get("http://" + e.adminAddr + "/events")
 	if err != nil {
 		return false
 	}
@@ -132,11 +134,11 @@
 	return err == nil && strings.Contains(string(b), instance)
 }
 
-// TestMalformedAnnouncements guards against announcements that crash an entry
-// process or enter the fleet half understood.
+// TestMalformedAnnouncements guards against a malformed announcement that
+// crashes an entry process, or that is accepted in part.
 func TestMalformedAnnouncements(t *testing.T) {
-	s := serving(t, threeZones("merge"))
-	good := announcement("za-x00", s.host()+":9000")
+	s := startServing(t, threeZones("merge"))
+	good := announcement("za-x00", s.newIP()+":9000")
 	tests := []struct{ name, field, value string }{
 		{"no instance", "instance", ""},
 		{"instance with a slash", "instance", "a/b"},
@@ -155,7 +157,7 @@
 	}
 	e := s.find("e1")
 	for _, tt := range tests {
-		status, reason := announce(t, e, with(good, tt.field, tt.value).Encode())
+		status, reason := announce(t, e, withValues(good, tt.field, tt.value).Encode())
 		assert.Equal(t, status, http.StatusBadRequest, tt.name)
 		assert.Assert(t, strings.Contains(reason, tt.field), "%s: %s", tt.name, reason)
 	}
@@ -164,18 +166,19 @@
 		assert.Equal(t, status, http.StatusBadRequest)
 		assert.Assert(t, reason != "")
 	}
-	status, outcome, _, err := call(t, e.callers, "merge", http.Header{stand.IDHeader: {"after"}})
+	status, outcome, _, err := call(t, e.callerAddr, "merge", http.Header{stand.IDHeader: {"after"}})
 	assert.NilError(t, err)
 	assert.Equal(t, fmt.Sprint(status, outcome), "200ran")
 	assert.Equal(t, len(s.instances()), 3)
 }
 
-// TestLossWithDeadEntry guards against the loss of an upstream that the leader
-// never notices because an entry process that heard it is gone for good.
-func TestLossWithDeadEntry(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
+// TestUpstreamLossNoticedWithDeadEntry guards against the loss of an upstream
+// that the leader never notices because an entry process that had heard from
+// the upstream is dead too.
+func TestUpstreamLossNoticedWithDeadEntry(t *testing.T) {
+	s := startServing(t, threeZones("merge", "merge"))
 	s.kill("e3")
-	s.platform["za"].Kill("za-i00")
+	s.platforms["za"].Kill("za-i00")
 	s.wait("the loss to be noticed", func() bool {
 		return strings.HasPrefix(s.instance("za-i00").Reason, "lost:")
 	})
--- a/tests/doc.go
+++ b/tests/doc.go
@@ -1,4 +1,4 @@
-// Package tests holds the tests with real processes: they are killed, frozen,
-// cut off by relays and given empty data folders. The stand-in upstreams' own
-// records are the judge of what ran.
+// Package tests tests a system of real processes. The tests kill processes,
+// freeze them, partition them with relays and empty their data folders. They
+// check which requests ran by the records of the stand-in upstreams.
 package tests
--- a/tests/rest_test.go
+++ b/tests/idle_test.go
@@ -11,10 +11,11 @@
 	"time"
 )
 
-// metrics reads the metrics of a process by name.
+// metrics returns the values of a process's metrics by name, without the prefix
+// camphorridge_. The map is empty if the process does not answer.
 func (s *system) metrics(p *process) map[string]float64 {
 	out := map[string]float64{}
-	resp, err := probes.Get("http://" + p.admin + "/metrics")
+	resp, err := probeClient.Get("http://" + p.adminAddr + "/metrics")
 	if err != nil {
 		return out
 	}
@@ -29,9 +30,9 @@
 	return out
 }
 
-// describe returns the metrics of every process, for a wait that ran into its
-// bound.
-func (s *system) describe() string {
+// formatMetrics returns the metrics of every process as text, for the message
+// of a wait that timed out.
+func (s *system) formatMetrics() string {
 	var b strings.Builder
 	for _, p := range slices.Concat(s.controls, s.entries) {
 		fmt.Fprintf(&b, "%s in %s:\n", p.name, p.zone)
@@ -43,40 +44,42 @@
 	return b.String()
 }
 
-// observed is how long the processes are observed at rest.
-const observed = 10 * time.Second
+// idlePeriod is how long the idle processes are measured.
+const idlePeriod = 10 * time.Second
 
-// BenchmarkControlAtRest reports what the processes cost while nothing
-// changes, as the mean over each role, for fleets of two sizes: the slope is
-// the cost of an instance.
-func BenchmarkControlAtRest(b *testing.B) {
-	for _, c := range []struct{ perZone, lease int }{{17, 3000}, {170, 3000}, {510, 3000}, {17, 15000}, {255, 15000}, {510, 15000}} {
+// BenchmarkIdleProcesses reports what the processes cost while nothing changes,
+// as the mean over the processes of each role. It does so for fleets of
+// different sizes: the slope is the cost of an instance.
+func BenchmarkIdleProcesses(b *testing.B) {
+	for _, c := range []struct{ perZone, leaseMillis int }{{17, 3000}, {170, 3000}, {510, 3000}, {17, 15000}, {255, 15000}, {510, 15000}} {
 		perZone := c.perZone
-		b.Run(fmt.Sprintf("instances=%d/lease-ms=%d", 3*perZone, c.lease), func(b *testing.B) {
+		b.Run(fmt.Sprintf("instances=%d/lease-ms=%d", 3*perZone, c.leaseMillis), func(b *testing.B) {
 			l := threeZones()
-			l.extra = fmt.Sprintf("[limits]\nlease-ms = %d\n", c.lease)
+			l.allSettings = fmt.Sprintf("[limits]\nlease-ms = %d\n", c.leaseMillis)
 			for z := range l.upstreams {
 				l.upstreams[z] = strings.Split(strings.Repeat("merge,", perZone-1)+"merge", ",")
 			}
 			for b.Loop() {
-				s := start(b, l)
+				s := startSystem(b, l)
 				s.wait("all instances", func() bool {
 					out, err := s.cli("instances")
 					return err == nil && strings.Count(out, "serving") == 3*perZone
 				})
-				s.reportRest(b, s.entries, "entry")
-				s.reportRest(b, s.controls, "control")
+				s.reportIdleCost(b, s.entries, "entry")
+				s.reportIdleCost(b, s.controls, "control")
 			}
 		})
 	}
 }
 
-func (s *system) reportRest(b *testing.B, all []*process, role string) {
+// reportIdleCost reports the CPU time, the memory and the bytes per second of
+// the processes of one role, each as the mean over the processes.
+func (s *system) reportIdleCost(b *testing.B, all []*process, role string) {
 	before := make([]map[string]float64, len(all))
 	for i, p := range all {
 		before[i] = s.metrics(p)
 	}
-	time.Sleep(observed)
+	time.Sleep(idlePeriod)
 	var cpu, memory, bytes float64
 	for i, p := range all {
 		after := s.metrics(p)
@@ -86,7 +89,7 @@
 			bytes += after[name] - before[i][name]
 		}
 	}
-	n, seconds := float64(len(all)), observed.Seconds()
+	n, seconds := float64(len(all)), idlePeriod.Seconds()
 	// The metric is in ms, so that 10 ms in a second are 1 %.
 	b.ReportMetric(cpu/n/seconds/10, role+"-core-%")
 	b.ReportMetric(memory/n/(1<<20), role+"-MiB")
--- a/tests/maintenance_test.go
+++ b/tests/maintenance_test.go
@@ -15,10 +15,11 @@
 	"camphorridge/internal/stand"
 )
 
-// watchOut polls the instances until stop is closed and reports what breaks
-// the budget of one instance at once.
-func (s *system) watchOut(stop <-chan struct{}, faults chan<- string) {
-	defer close(faults)
+// watchDisruption polls the instances until stop is closed. It sends each
+// violation of the disruption budget, which allows one instance out of service
+// at a time, to violations.
+func (s *system) watchDisruption(stop <-chan struct{}, violations chan<- string) {
+	defer close(violations)
 	var before []string
 	lostBefore := false
 	for {
@@ -40,11 +41,11 @@
 			lost = lost || strings.HasPrefix(i.Reason, "lost:")
 		}
 		if len(out) > 1 {
-			faults <- fmt.Sprintf("%v are out of service at once", out)
+			violations <- fmt.Sprintf("%v are out of service at once", out)
 		}
 		for _, id := range out {
 			if lost && lostBefore && !slices.Contains(before, id) {
-				faults <- fmt.Sprintf("%s was taken out while another instance was lost", id)
+				violations <- fmt.Sprintf("%s was taken out while another instance was lost", id)
 			}
 		}
 		before, lostBefore = out, lost
@@ -52,13 +53,13 @@
 }
 
 // TestMaintenanceUnderFailures guards against requests that maintenance cuts
-// off and against more instances out of service than the contract allows,
-// while an upstream, an entry process and the leader are killed and come back
-// in the middle of a wave over all instances.
+// off, and against more instances out of service than the contract allows.
+// During the maintenance of all instances, an upstream, an entry process and
+// the leader are killed and started again.
 func TestMaintenanceUnderFailures(t *testing.T) {
 	l := threeZones("merge", "merge")
-	l.control = quick
-	s := serving(t, l)
+	l.controlSettings = fastMaintenance
+	s := startServing(t, l)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sums := make(chan stand.Summary, 1)
@@ -68,57 +69,58 @@
 			Timeout: 20 * time.Second, Prefix: "steady", Pause: 10 * time.Millisecond,
 		}.Run(ctx)
 	}()
-	stop, faults := make(chan struct{}), make(chan string, 10_000)
-	go s.watchOut(stop, faults)
+	stop, violations := make(chan struct{}), make(chan string, 10_000)
+	go s.watchDisruption(stop, violations)
 	finish := sync.OnceFunc(func() {
 		close(stop)
-		for fault := range faults {
-			t.Error(fault)
+		for violation := range violations {
+			t.Error(violation)
 		}
 	})
 	defer finish()
-	s.must("maintenance", "declare", "all", "--pool", "merge", "--deadline", "1h", "--author", "test")
-	maintained := func(n int) {
+	s.retryCLI("maintenance", "declare", "all", "--pool", "merge", "--deadline", "1h", "--author", "test")
+	waitMaintained := func(n int) {
 		t.Helper()
 		s.wait(fmt.Sprintf("%d maintained instances", n), func() bool { return s.declarations()["all"].Maintained >= n })
 	}
-	maintained(1)
-	old := s.leader()
-	s.kill(old.name)
-	maintained(2)
-	s.run(old)
+	waitMaintained(1)
+	leader := s.leader()
+	s.kill(leader.name)
+	waitMaintained(2)
+	s.startProcess(leader)
 	s.kill("e4")
 	time.Sleep(time.Second)
-	s.run(s.find("e4"))
-	maintained(3)
-	f := s.platform["zb"]
+	s.startProcess(s.find("e4"))
+	waitMaintained(3)
+	platform := s.platforms["zb"]
 	var u *stand.Upstream
 	s.wait("zb-i00 to be up", func() bool {
-		u = f.Upstream("zb-i00")
+		u = platform.Upstream("zb-i00")
 		return u != nil
 	})
-	o := u.Options
-	o.Address = u.Addr()
-	f.Kill("zb-i00")
+	options := u.Options
+	options.Address = u.Addr()
+	platform.Kill("zb-i00")
 	s.wait("the loss to be noticed", func() bool { return strings.HasPrefix(s.instance("zb-i00").Reason, "lost:") })
-	assert.NilError(t, f.Start(o))
-	maintained(6)
+	assert.NilError(t, platform.Start(options))
+	waitMaintained(6)
 	finish()
 	cancel()
-	s.checkSteady(<-sums, "zb-i00", 3)
+	s.checkAnswers(<-sums, "zb-i00", 3)
 	for _, i := range s.instances() {
 		assert.Equal(t, i.Phase, "serving", "%s", i.Instance)
 		assert.Assert(t, i.Maintained >= s.declarations()["all"].Declared, "%s", i.Instance)
 	}
 }
 
-// checkSteady checks the answers of a load against the record. Only requests
-// on the killed upstream, or through the killed entry process by its index,
-// may have been cut off.
-func (s *system) checkSteady(sum stand.Summary, upstream string, entry int) {
+// checkAnswers compares the answers of a load with the requests that the
+// upstreams handled. Only requests on the killed upstream, or through the
+// killed entry process, may have been cut off. entry is the index of that
+// process.
+func (s *system) checkAnswers(sum stand.Summary, upstream string, entry int) {
 	s.t.Helper()
 	ran := map[string][]string{}
-	for _, r := range s.record() {
+	for _, r := range s.handledRequests() {
 		ran[r.ID] = append(ran[r.ID], r.Instance)
 	}
 	for _, a := range sum.Answers {
@@ -137,8 +139,8 @@
 		case a.Outcome == "not-run":
 			assert.Equal(s.t, len(ran[a.ID]), 0, "%s was refused and ran on %v", a.ID, ran[a.ID])
 		default:
-			only := through.zone == "zb" && (len(ran[a.ID]) == 0 || ran[a.ID][0] == upstream)
-			assert.Assert(s.t, only, "%s through %s ended %d %s and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
+			expected := through.zone == "zb" && (len(ran[a.ID]) == 0 || ran[a.ID][0] == upstream)
+			assert.Assert(s.t, expected, "%s through %s ended %d %s and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
 		}
 	}
 	s.t.Logf("%s", sum)
--- a/tests/once_test.go
+++ b/tests/once_test.go
@@ -11,17 +11,18 @@
 	"camphorridge/internal/stand"
 )
 
-// TestEveryMethodRunsAtMostOnce guards against a library that repeats a request
-// by itself when a reused connection dies before the answer: every method, with
-// and without a body, with and without an idempotency key.
+// TestEveryMethodRunsAtMostOnce guards against an HTTP library that resends a
+// request by itself when a reused connection closes before the answer. It tries
+// every method, with and without a body, and with and without an idempotency
+// key.
 func TestEveryMethodRunsAtMostOnce(t *testing.T) {
-	s := serving(t, threeZones("merge"))
-	entry := s.find("e4").callers
+	s := startServing(t, threeZones("merge"))
+	entry := s.find("e4").callerAddr
 	n := 0
 	for _, method := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE"} {
 		for _, body := range []string{"", "body"} {
 			for _, key := range []string{"", "Idempotency-Key", "X-Idempotency-Key"} {
-				// The request before leaves an idle connection to reuse.
+				// This request leaves an idle connection to reuse.
 				status, _, _, err := call(t, entry, "merge", nil)
 				assert.NilError(t, err)
 				assert.Equal(t, status, http.StatusOK)
@@ -33,23 +34,24 @@
 				if key != "" {
 					r.Header.Set(key, id)
 				}
-				// The test's own client must not repeat the request either.
+				// The test's own client must not resend the request either.
 				r.GetBody, r.Close = nil, true
 				resp, err := http.DefaultClient.Do(r)
 				assert.NilError(t, err)
 				_ = resp.Body.Close()
 				assert.Equal(t, resp.Header.Get("Camphorridge-Outcome"), "unknown", "%s", method)
-				assert.Equal(t, s.runsOf(id), 1, "%s with body %q and key %q", method, body, key)
+				assert.Equal(t, s.runCount(id), 1, "%s with body %q and key %q", method, body, key)
 			}
 		}
 	}
 }
 
-// TestLateAnswerReachesNobody guards against an answer that comes after its
-// request was given up and reaches the next request.
-func TestLateAnswerReachesNobody(t *testing.T) {
-	s := serving(t, threeZones("merge"))
-	entry := s.find("e4").callers
+// TestLateAnswerDoesNotReachNextRequest guards against an answer that arrives
+// after its request has timed out, and is passed on as the answer to the next
+// request.
+func TestLateAnswerDoesNotReachNextRequest(t *testing.T) {
+	s := startServing(t, threeZones("merge"))
+	entry := s.find("e4").callerAddr
 	for n := range 5 {
 		status, outcome, _, err := call(t, entry, "merge", http.Header{
 			stand.IDHeader: {fmt.Sprintf("late-%d", n)}, stand.DelayHeader: {"400"}, "Camphorridge-Timeout-Ms": {"200"},
--- a/tests/operators_test.go
+++ b/tests/operators_test.go
@@ -9,38 +9,39 @@
 	"gotest.tools/v3/assert"
 )
 
-// contractFile writes a contract for one instance of the pool merge.
-func (s *system) contractFile(name string, queue int) string {
+// writeContract writes a contract for two instances of the pool merge and
+// returns the path of the file.
+func (s *system) writeContract(name string, queue int) string {
 	s.t.Helper()
 	text := fmt.Sprintf("[contract]\ncustomer = acme\ncovers = instance\nqueue = %d\n[pool merge]\ninstances = 2\n"+
 		"[disruption]\nmax-unavailable = 1\nbudget-ms = 600000\nwindow-ms = 3600000\n", queue)
-	return s.write(name+".ini", text)
+	return s.writeFile(name+".ini", text)
 }
 
-// answer is what one command printed.
-type answer struct {
+// commandResult is the output of a command and its error, if any.
+type commandResult struct {
 	author, out string
 	err         error
 }
 
-// TestConcurrentApplies guards against two operators who change a contract
-// from one version and are both told that their change holds.
+// TestConcurrentApplies guards against two operators who change a contract from
+// the same version and are both told that their change is accepted.
 func TestConcurrentApplies(t *testing.T) {
-	s := start(t, controlGroup())
-	out := s.must("contract", "apply", s.contractFile("first", 100), "--author", "first", "--base", "0")
+	s := startSystem(t, controlGroupLayout())
+	out := s.retryCLI("contract", "apply", s.writeContract("first", 100), "--author", "first", "--base", "0")
 	for round := range 5 {
 		var base uint64
 		_, err := fmt.Sscanf(out, "accepted at version %d", &base)
 		assert.NilError(t, err, "%s", out)
-		answers := make([]answer, 2)
+		answers := make([]commandResult, 2)
 		var wg sync.WaitGroup
 		for i, author := range []string{"anna", "bert"} {
-			file := s.contractFile(author, 200+10*round+i)
+			file := s.writeContract(author, 200+10*round+i)
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
 				out, err := s.cli("contract", "apply", file, "--author", author, "--base", fmt.Sprint(base))
-				answers[i] = answer{author: author, out: out, err: err}
+				answers[i] = commandResult{author: author, out: out, err: err}
 			}()
 		}
 		wg.Wait()
@@ -48,7 +49,7 @@
 		if winner.err != nil {
 			winner, loser = loser, winner
 		}
-		assert.NilError(t, winner.err, "nobody won: %s / %s", winner.out, loser.out)
+		assert.NilError(t, winner.err, "neither change was accepted: %s / %s", winner.out, loser.out)
 		assert.ErrorContains(t, loser.err, "exit status 1")
 		assert.Assert(t, strings.Contains(loser.out, "changed by "+winner.author), "%s", loser.out)
 		assert.Assert(t, strings.Contains(loser.out, "differs in: queue"), "%s", loser.out)
@@ -57,13 +58,13 @@
 }
 
 // TestResendGivesFirstResult guards against a change that is applied again, or
-// answered in another way, when an operator whose answer was lost sends it
-// again: under another leader, and after all members were restarted.
+// gets another answer, when an operator whose answer was lost sends it again:
+// under another leader, and after all members were restarted.
 func TestResendGivesFirstResult(t *testing.T) {
-	s := start(t, controlGroup())
-	first := s.contractFile("first", 100)
-	send := func(file, request string) answer {
-		var a answer
+	s := startSystem(t, controlGroupLayout())
+	first := s.writeContract("first", 100)
+	send := func(file, request string) commandResult {
+		var a commandResult
 		s.wait("an answer", func() bool {
 			a.out, a.err = s.cli("contract", "apply", file, "--author", "anna", "--base", "0", "--request", request)
 			return !strings.Contains(a.out, "may or may not") && !strings.Contains(a.out, "status:")
@@ -73,35 +74,36 @@
 	s.wait("the instances", func() bool { return len(s.instances()) == 2 })
 	accepted := send(first, "one")
 	assert.NilError(t, accepted.err, "%s", accepted.out)
-	refused := send(s.contractFile("second", 300), "two")
+	refused := send(s.writeContract("second", 300), "two")
 	assert.ErrorContains(t, refused.err, "exit status 1")
-	// Another operator goes on, so that the base of the first change is old.
-	s.must("contract", "apply", s.contractFile("third", 400), "--author", "carl")
+	// Another operator changes the contract, so that the base of the first change is
+	// out of date.
+	s.retryCLI("contract", "apply", s.writeContract("third", 400), "--author", "carl")
 	check := func() {
 		t.Helper()
 		again := send(first, "one")
 		assert.NilError(t, again.err, "%s", again.out)
 		assert.Equal(t, again.out, accepted.out)
-		again = send(s.contractFile("second", 300), "two")
+		again = send(s.writeContract("second", 300), "two")
 		assert.ErrorContains(t, again.err, "exit status 1")
 		assert.Equal(t, again.out, refused.out)
-		out := s.must("contract", "show", "acme", "--json")
+		out := s.retryCLI("contract", "show", "acme", "--json")
 		assert.Assert(t, strings.Contains(out, `"queue": 400`), "%s", out)
 	}
 	check()
 	old := s.leader()
 	s.kill(old.name)
 	check()
-	s.run(old)
+	s.startProcess(old)
 	// Enough changes for a snapshot: the results must be part of it.
-	c, wg := s.stream("more", 8, 150, nil)
+	results, wg := s.startDeclaring("more", 8, 150, nil)
 	wg.Wait()
 	for _, p := range s.controls {
 		s.kill(p.name)
 	}
 	for _, p := range s.controls {
-		s.run(p)
+		s.startProcess(p)
 	}
 	check()
-	c.check(s)
+	results.check(s)
 }
--- a/tests/relay_test.go
+++ b/tests/relay_test.go
@@ -8,7 +8,8 @@
 	"camphorridge/internal/stand"
 )
 
-// newRelay returns a relay that ends with the test.
+// newRelay starts a relay from one address to another, which is closed at the
+// end of the test.
 func newRelay(t testing.TB, listen, target string) *stand.Relay {
 	t.Helper()
 	r, err := stand.NewRelay(listen, target)
--- a/tests/pool_test.go
+++ b/tests/release_test.go
@@ -12,12 +12,14 @@
 	"camphorridge/internal/stand"
 )
 
-// quick makes maintenance fast enough for tests.
-const quick = "[maintenance]\nstep-ms = 10000\ncanary-ms = 500\nstuck-ms = 20000\n"
+// fastMaintenance holds settings of control processes that make maintenance
+// fast enough for tests.
+const fastMaintenance = "[maintenance]\nstep-ms = 10000\ncanary-ms = 500\nstuck-ms = 20000\n"
 
-// away follows an instance until it is in maintenance and back, and returns
-// the times of both steps by the control group.
-func (s *system) away(id string) (from, to int64) {
+// waitForMaintenance waits until an instance is in maintenance and then serves
+// again. It returns the start and the end of the maintenance as the control
+// group recorded them, in milliseconds since the epoch.
+func (s *system) waitForMaintenance(id string) (from, to int64) {
 	s.t.Helper()
 	s.wait(id+" to be in maintenance", func() bool {
 		i := s.instance(id)
@@ -33,16 +35,16 @@
 }
 
 // TestReleaseWaitsForEveryEntry guards against an instance that is rebooted
-// while an entry process may still send it requests: one entry process of the
-// zone is frozen, then another is killed, and maintenance must wait for each,
-// name it, and go on when it is back. No request may reach the instance
-// between the confirmed release and its return.
+// while an entry process may still send it requests. One entry process of the
+// zone is frozen, later another is killed. Maintenance must wait for each of
+// them, say so to operators, and continue when the process is back. No request
+// may reach the instance between its confirmed release and its return.
 func TestReleaseWaitsForEveryEntry(t *testing.T) {
 	l := threeZones("merge", "merge")
-	l.control = quick
-	s := serving(t, l)
-	f := s.platform["za"]
-	f.RebootTime = 1500 * time.Millisecond
+	l.controlSettings = fastMaintenance
+	s := startServing(t, l)
+	platform := s.platforms["za"]
+	platform.RebootTime = 1500 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan stand.Summary, 1)
@@ -54,7 +56,7 @@
 	}()
 	tests := []struct {
 		instance, entry string
-		stop, back      func()
+		stop, resume    func()
 	}{
 		{
 			"za-i00", "e3",
@@ -64,13 +66,13 @@
 		{
 			"za-i01", "e2",
 			func() { s.kill("e2") },
-			func() { s.run(s.find("e2")) },
+			func() { s.startProcess(s.find("e2")) },
 		},
 	}
 	for _, tt := range tests {
-		s.wait(tt.instance+" to run requests", func() bool { return len(f.Upstream(tt.instance).Record()) > 20 })
+		s.wait(tt.instance+" to run requests", func() bool { return len(platform.Upstream(tt.instance).Record()) > 20 })
 		tt.stop()
-		s.must("maintenance", "declare", tt.instance, "--instance", tt.instance, "--deadline", "1h", "--author", "test")
+		s.retryCLI("maintenance", "declare", tt.instance, "--instance", tt.instance, "--deadline", "1h", "--author", "test")
 		for _, command := range [][]string{{"status"}, {"explain", "instance", tt.instance}} {
 			s.wait(command[0]+" to name "+tt.entry, func() bool {
 				out, err := s.cli(command...)
@@ -84,11 +86,11 @@
 		}
 		time.Sleep(4 * time.Second)
 		assert.Equal(t, s.instance(tt.instance).Phase, "releasing")
-		assert.Equal(t, f.Reboots(tt.instance), 0)
-		tt.back()
-		from, to := s.away(tt.instance)
-		assert.Assert(t, f.Reboots(tt.instance) >= 1)
-		for _, r := range f.Record() {
+		assert.Equal(t, platform.Reboots(tt.instance), 0)
+		tt.resume()
+		from, to := s.waitForMaintenance(tt.instance)
+		assert.Assert(t, platform.Reboots(tt.instance) >= 1)
+		for _, r := range platform.Record() {
 			started := int64(r.Started)
 			assert.Assert(t, r.Instance != tt.instance || started < from || started >= to,
 				"%s ran %s through %s at %d, between its release at %d and its return at %d", r.Instance, r.ID, r.Entry, started, from, to)
@@ -98,28 +100,28 @@
 	<-done
 }
 
-// TestMoveWaitsForEveryEntry guards against an instance that serves two pools:
-// a spare instance takes the place of a lost one while an entry process of
-// each zone is frozen, and must stay in its pool until all have confirmed the
-// release. It may run nothing for the new pool before it was assigned to it.
+// TestMoveWaitsForEveryEntry guards against an instance that serves two pools.
+// A spare instance replaces a lost one while an entry process of each zone is
+// frozen. It must stay in its pool until all entry processes have confirmed the
+// release, and must run nothing for the new pool before it is assigned to it.
 func TestMoveWaitsForEveryEntry(t *testing.T) {
 	l := threeZones("merge", "merge", "portal")
-	l.control = "[capacity]\nrepair-after-ms = 1000\n"
-	s := start(t, l)
+	l.controlSettings = "[capacity]\nrepair-after-ms = 1000\n"
+	s := startSystem(t, l)
 	s.wait("the instances", func() bool { return len(s.instances()) == 9 })
-	s.must("contract", "apply", s.write("acme.ini", "[contract]\ncustomer = acme\ncovers = instance\nqueue = 700\n"+
+	s.retryCLI("contract", "apply", s.writeFile("acme.ini", "[contract]\ncustomer = acme\ncovers = instance\nqueue = 700\n"+
 		"[pool merge]\ninstances = 6\n[disruption]\nmax-unavailable = 1\nbudget-ms = 600000\nwindow-ms = 3600000\n"+
 		"[spare]\ninstances = 3\npool = portal\n"), "--author", "test")
-	s.ready()
+	s.waitReady()
 	frozen := []string{"e3", "e5", "e7"}
 	for _, e := range frozen {
 		s.signal(e, syscall.SIGSTOP)
 	}
-	s.platform["za"].Kill("za-i00")
+	s.platforms["za"].Kill("za-i00")
 	s.wait("the loss to be noticed", func() bool {
 		return strings.HasPrefix(s.instance("za-i00").Reason, "lost:")
 	})
-	moving := func() string {
+	releasingSpare := func() string {
 		for _, i := range s.instances() {
 			if i.Pool == "portal" && i.Phase == "releasing" {
 				return i.Instance
@@ -129,12 +131,12 @@
 	}
 	var id string
 	s.wait("a spare instance to be released", func() bool {
-		id = moving()
+		id = releasingSpare()
 		return id != ""
 	})
-	served := func() int {
+	runsOnSpare := func() int {
 		n := 0
-		for _, r := range s.record() {
+		for _, r := range s.handledRequests() {
 			if r.Instance == id {
 				n++
 			}
@@ -144,12 +146,12 @@
 	deadline := time.Now().Add(3 * time.Second)
 	for time.Now().Before(deadline) {
 		for _, e := range []string{"e1", "e4", "e6"} {
-			_, _, _, err := call(t, s.find(e).callers, "merge", nil)
+			_, _, _, err := call(t, s.find(e).callerAddr, "merge", nil)
 			assert.NilError(t, err)
 		}
 		assert.Equal(t, s.instance(id).Pool, "portal")
 	}
-	assert.Equal(t, served(), 0, "%s served pool merge before it was assigned to it", id)
+	assert.Equal(t, runsOnSpare(), 0, "%s served pool merge before it was assigned to it", id)
 	for _, e := range frozen {
 		s.signal(e, syscall.SIGCONT)
 	}
@@ -159,9 +161,9 @@
 		for _, e := range s.callerAddrs("") {
 			_, _, _, _ = call(t, e, "merge", nil)
 		}
-		return served() > 0
+		return runsOnSpare() > 0
 	})
-	for _, r := range s.record() {
+	for _, r := range s.handledRequests() {
 		assert.Assert(t, r.Instance != id || int64(r.Started) >= assigned, "%s ran before the assignment", id)
 	}
 }
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -16,7 +16,7 @@
 	"camphorridge/internal/stand"
 )
 
-// call sends one request and returns its status, outcome and body.
+// call sends one request and returns the answer's status, outcome and body.
 func call(t *testing.T, entry, service string, header http.Header) (status int, outcome, body string, err error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -37,28 +37,31 @@
 	return resp.StatusCode, resp.Header.Get("Camphorridge-Outcome"), string(b), err
 }
 
-// serving starts a system whose entry processes serve the pool merge.
-func serving(t *testing.T, l layout) *system {
+// startServing starts a system, applies a contract for its instances of the
+// pool merge, and waits until all entry processes serve the pool.
+func startServing(t *testing.T, l layout) *system {
 	t.Helper()
-	s := start(t, l)
+	s := startSystem(t, l)
 	n := 0
 	for _, pools := range l.upstreams {
 		n += len(pools)
 	}
-	s.contract("acme", n, "merge")
-	s.ready()
+	s.applyContract("acme", n, "merge")
+	s.waitReady()
 	for _, e := range s.entries {
 		s.wait(e.name+" to serve", func() bool {
-			status, _, _, err := call(t, e.callers, "merge", nil)
+			status, _, _, err := call(t, e.callerAddr, "merge", nil)
 			return err == nil && status == http.StatusOK
 		})
 	}
 	return s
 }
 
-func (s *system) runsOf(id string) int {
+// runCount returns the number of times that the request with the given ID has
+// run.
+func (s *system) runCount(id string) int {
 	n := 0
-	for _, r := range s.record() {
+	for _, r := range s.handledRequests() {
 		if r.ID == id {
 			n++
 		}
@@ -66,37 +69,39 @@
 	return n
 }
 
-// TestResendToAnotherEntryRunsOnce guards against a second charge: the entry
-// process dies while the request runs, and the caller resends it elsewhere.
+// TestResendToAnotherEntryRunsOnce guards against a request with an idempotency
+// key that runs twice: the entry process dies while the request runs, and the
+// caller resends it to another one.
 func TestResendToAnotherEntryRunsOnce(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
+	s := startServing(t, threeZones("merge", "merge"))
 	for i, victim := range []string{"e1", "e4"} {
 		id := fmt.Sprintf("charge-%d", i)
 		h := http.Header{stand.IDHeader: {id}, "Idempotency-Key": {id}, stand.DelayHeader: {"1500"}}
 		done := make(chan error, 1)
 		go func() {
-			_, _, _, err := call(t, s.find(victim).callers, "merge", h)
+			_, _, _, err := call(t, s.find(victim).callerAddr, "merge", h)
 			done <- err
 		}()
-		s.wait("the request to run", func() bool { return s.runsOf(id) == 1 })
+		s.wait("the request to run", func() bool { return s.runCount(id) == 1 })
 		s.kill(victim)
 		assert.Assert(t, <-done != nil, "the caller must not get a whole answer")
 		for _, other := range []string{"e2", "e5", "e7"} {
-			status, outcome, _, err := call(t, s.find(other).callers, "merge", h)
+			status, outcome, _, err := call(t, s.find(other).callerAddr, "merge", h)
 			assert.NilError(t, err)
 			assert.Equal(t, status, http.StatusConflict)
 			assert.Equal(t, outcome, "duplicate")
 		}
-		assert.Equal(t, s.runsOf(id), 1)
-		s.run(s.find(victim))
+		assert.Equal(t, s.runCount(id), 1)
+		s.startProcess(s.find(victim))
 	}
 }
 
-// TestKeyedRequestsUnderLeaderKill guards against a keyed request that runs
-// twice, or runs although it was refused, when the leader that holds the claims
-// dies: all are sent through all entry processes, and the refused ones again.
+// TestKeyedRequestsUnderLeaderKill guards against a request with an idempotency
+// key that runs twice, or that runs although it was refused, when the leader,
+// which holds the claims, is killed. The requests go through all entry
+// processes, and the refused ones are sent again at the end.
 func TestKeyedRequestsUnderLeaderKill(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
+	s := startServing(t, threeZones("merge", "merge"))
 	load := stand.Load{
 		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme", Requests: 900, Concurrency: 8,
 		IdempotencyKeys: true, Timeout: 20 * time.Second, Prefix: "key-",
@@ -104,16 +109,16 @@
 	sums := make(chan stand.Summary, 1)
 	go func() { sums <- load.Run(context.Background()) }()
 	for _, n := range []int{100, 300} {
-		s.wait("requests to run", func() bool { return s.runsWith("key-") >= n })
+		s.wait("requests to run", func() bool { return s.runCountWithPrefix("key-") >= n })
 		old := s.leader()
 		s.kill(old.name)
-		s.wait("more requests to run", func() bool { return s.runsWith("key-") >= n+100 })
-		s.run(old)
-		s.caughtUp(old)
+		s.wait("more requests to run", func() bool { return s.runCountWithPrefix("key-") >= n+100 })
+		s.startProcess(old)
+		s.waitCaughtUp(old)
 	}
 	sum := <-sums
 	assert.Equal(t, len(sum.Answers), 900)
-	runs := s.runsByID()
+	runs := s.runCounts()
 	var refused []string
 	for _, a := range sum.Answers {
 		assert.NilError(t, a.Err)
@@ -131,18 +136,19 @@
 	for i, id := range refused {
 		h := http.Header{stand.IDHeader: {id}, "Idempotency-Key": {id}}
 		s.wait(id+" to run", func() bool {
-			_, outcome, _, err := call(t, s.entries[i%len(s.entries)].callers, "merge", h)
+			_, outcome, _, err := call(t, s.entries[i%len(s.entries)].callerAddr, "merge", h)
 			return err == nil && outcome == "ran"
 		})
 	}
-	for id, n := range s.runsByID() {
+	for id, n := range s.runCounts() {
 		assert.Assert(t, n == 1 || !strings.HasPrefix(id, "key-"), "%s ran %d times", id, n)
 	}
 }
 
-func (s *system) runsByID() map[string]int {
+// runCounts returns the number of times that each request has run, by ID.
+func (s *system) runCounts() map[string]int {
 	runs := map[string]int{}
-	for _, r := range s.record() {
+	for _, r := range s.handledRequests() {
 		runs[r.ID]++
 	}
 	return runs
@@ -151,11 +157,11 @@
 // TestGracefulStop guards against a planned stop that cuts off requests: each
 // entry process and each control member is stopped under load in turn.
 func TestGracefulStop(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
+	s := startServing(t, threeZones("merge", "merge"))
 	var wg sync.WaitGroup
 	for _, name := range []string{"e1", "e5"} {
 		l := stand.Load{
-			Entries: []string{s.find(name).callers}, Service: "merge", Customer: "acme",
+			Entries: []string{s.find(name).callerAddr}, Service: "merge", Customer: "acme",
 			Requests: 4000, Concurrency: 4, Timeout: 20 * time.Second, Prefix: name, Pause: 2 * time.Millisecond,
 		}
 		sums := make(chan stand.Summary, 1)
@@ -164,10 +170,10 @@
 			defer wg.Done()
 			sums <- l.Run(context.Background())
 		}()
-		s.wait("the load to run", func() bool { return s.runsWith(name) > 50 })
+		s.wait("the load to run", func() bool { return s.runCountWithPrefix(name) > 50 })
 		assert.Equal(t, s.stop(name), 0)
-		// The load ends by itself: cancelling it could cut off an answer that was
-		// written before the stop and not read yet.
+		// The load is not cancelled: that could cut off an answer that was written
+		// before the stop and has not been read yet.
 		sum := <-sums
 		assert.Assert(t, sum.Counts["error"] > 0, "the load ended before the stop")
 		finished := map[string]bool{}
@@ -176,24 +182,26 @@
 				finished[a.ID] = true
 			}
 		}
-		for _, r := range s.record() {
+		for _, r := range s.handledRequests() {
 			if strings.HasPrefix(r.ID, name) && r.Finished {
 				assert.Assert(t, finished[r.ID], "request %s ran and its answer was cut off", r.ID)
 			}
 		}
-		s.run(s.find(name))
+		s.startProcess(s.find(name))
 	}
 	for _, c := range s.controls {
 		assert.Equal(t, s.stop(c.name), 0)
-		s.run(c)
-		s.must("status")
+		s.startProcess(c)
+		s.retryCLI("status")
 	}
 	wg.Wait()
 }
 
-func (s *system) runsWith(prefix string) int {
+// runCountWithPrefix returns the number of runs of all requests whose ID has
+// the given prefix.
+func (s *system) runCountWithPrefix(prefix string) int {
 	n := 0
-	for _, r := range s.record() {
+	for _, r := range s.handledRequests() {
 		if strings.HasPrefix(r.ID, prefix) {
 			n++
 		}
@@ -201,11 +209,12 @@
 	return n
 }
 
-// TestLeavingUpstreamGetsNoNewWork guards against requests that reach an
-// upstream seconds after it announced that it leaves, through any entry.
+// TestLeavingUpstreamGetsNoNewWork guards against requests that any entry
+// process sends to an upstream seconds after it has announced that it is
+// leaving.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
-	u := s.platform["za"].Upstream("za-i00")
+	s := startServing(t, threeZones("merge", "merge"))
+	u := s.platforms["za"].Upstream("za-i00")
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, e := range s.callerAddrs("za") {
@@ -233,12 +242,12 @@
 	assert.Equal(t, after, before)
 }
 
-// TestSlotsHoldOverAllEntries guards against entry processes that together
-// send an upstream more than its slots.
+// TestSlotsHoldOverAllEntries guards against entry processes that together send
+// an upstream more requests at once than it has slots.
 func TestSlotsHoldOverAllEntries(t *testing.T) {
 	l := threeZones("merge", "merge")
-	l.delay = 20 * time.Millisecond
-	s := serving(t, l)
+	l.requestDuration = 20 * time.Millisecond
+	s := startServing(t, l)
 	load := stand.Load{
 		Entries: s.callerAddrs(""), Service: "merge", Customer: "acme",
 		Requests: 3000, Concurrency: 200, Timeout: 20 * time.Second, Prefix: "flood",
@@ -251,25 +260,26 @@
 		case "ran":
 			ran++
 		case "not-run":
-			assert.Equal(t, s.runsOf(a.ID), 0, "request %s was refused and ran", a.ID)
+			assert.Equal(t, s.runCount(a.ID), 0, "request %s was refused and ran", a.ID)
 		default:
 			t.Fatalf("request %s ended with outcome %q", a.ID, a.Outcome)
 		}
 	}
 	assert.Assert(t, ran > 0)
-	for zone, f := range s.platform {
+	for zone, platform := range s.platforms {
 		for i := range l.upstreams[zone] {
-			u := f.Upstream(fmt.Sprintf("%s-i%02d", zone, i))
+			u := platform.Upstream(fmt.Sprintf("%s-i%02d", zone, i))
 			assert.Assert(t, u.MaxRunning() <= 8, "%s ran %d requests at once", u.Instance, u.MaxRunning())
 		}
 	}
 }
 
-// TestFaultyUpstreams guards against answers that look complete and are not,
-// and against "not run" for a request that ran: the upstream cuts, hangs,
-// closes, refuses and answers without an end.
+// TestFaultyUpstreams guards against an incomplete answer that looks complete
+// to the caller, and against the outcome "not run" for a request that ran. The
+// upstream cuts answers short, hangs, closes the connection, refuses, and sends
+// answers without a length.
 func TestFaultyUpstreams(t *testing.T) {
-	s := serving(t, threeZones("merge", "merge"))
+	s := startServing(t, threeZones("merge", "merge"))
 	tests := []struct {
 		fault, outcome string
 		status, runs   int
@@ -285,36 +295,37 @@
 	for _, tt := range tests {
 		t.Run(tt.fault, func(t *testing.T) {
 			id := "fault-" + tt.fault
-			status, outcome, _, err := call(t, s.find("e2").callers, "merge", http.Header{
+			status, outcome, _, err := call(t, s.find("e2").callerAddr, "merge", http.Header{
 				stand.IDHeader: {id}, stand.FaultHeader: {tt.fault}, "Camphorridge-Timeout-Ms": {"2000"},
 			})
 			assert.NilError(t, err)
 			assert.Equal(t, outcome, tt.outcome)
 			assert.Equal(t, status, tt.status)
-			assert.Equal(t, s.runsOf(id), tt.runs)
+			assert.Equal(t, s.runCount(id), tt.runs)
 		})
 	}
 }
 
-// TestFrozenEntryWakesUp guards against an entry process that serves by an
-// old table after it was frozen: a contract is removed meanwhile.
-func TestFrozenEntryWakesUp(t *testing.T) {
-	s := serving(t, threeZones("merge"))
+// TestResumedEntryDropsRemovedContract guards against an entry process that was
+// frozen while a contract was removed, and serves by the old table when it
+// continues.
+func TestResumedEntryDropsRemovedContract(t *testing.T) {
+	s := startServing(t, threeZones("merge"))
 	s.signal("e3", syscall.SIGSTOP)
-	s.must("contract", "remove", "acme", "--author", "test")
+	s.retryCLI("contract", "remove", "acme", "--author", "test")
 	s.wait("e1 to drop the contract", func() bool {
-		status, _, _, err := call(t, s.find("e1").callers, "merge", nil)
+		status, _, _, err := call(t, s.find("e1").callerAddr, "merge", nil)
 		return err == nil && status == http.StatusNotFound
 	})
 	time.Sleep(2 * time.Second)
 	s.signal("e3", syscall.SIGCONT)
 	s.wait("e3 to drop the contract", func() bool {
-		status, _, _, err := call(t, s.find("e3").callers, "merge", nil)
+		status, _, _, err := call(t, s.find("e3").callerAddr, "merge", nil)
 		return err == nil && status == http.StatusNotFound
 	})
-	ran := len(s.record())
-	status, _, _, err := call(t, s.find("e3").callers, "merge", nil)
+	ran := len(s.handledRequests())
+	status, _, _, err := call(t, s.find("e3").callerAddr, "merge", nil)
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusNotFound)
-	assert.Equal(t, len(s.record()), ran)
+	assert.Equal(t, len(s.handledRequests()), ran)
 }
--- a/tests/silent_test.go
+++ b/tests/silent_test.go
@@ -10,20 +10,21 @@
 	"camphorridge/internal/stand"
 )
 
-// TestSilentConnections guards against a pooled connection that went silent
-// for good and fails one request after the other, while new connections work.
+// TestSilentConnections guards against a pooled connection that stops
+// delivering data and fails one request after the other, while new connections
+// work.
 func TestSilentConnections(t *testing.T) {
-	s := start(t, layout{controls: []string{"za"}, entries: []string{"za"}})
-	address := s.host() + ":9000"
-	r := newRelay(t, s.host()+":9000", address)
+	s := startSystem(t, layout{controls: []string{"za"}, entries: []string{"za"}})
+	address := s.newIP() + ":9000"
+	r := newRelay(t, s.newIP()+":9000", address)
 	u, err := stand.Start(stand.Options{
 		Instance: "za-i00", Zone: "za", Rack: "za-r0", Pool: "merge", Slots: 8, Connections: 64,
-		AnnounceTo: []string{s.find("e1").upstreams}, Address: address, Advertise: r.Addr(),
+		AnnounceTo: []string{s.find("e1").upstreamAddr}, Address: address, Advertise: r.Addr(),
 	})
 	assert.NilError(t, err)
 	t.Cleanup(u.Close)
 	s.wait("the instance", func() bool { return len(s.instances()) == 1 })
-	s.must("contract", "apply", s.write("acme.ini", `[contract]
+	s.retryCLI("contract", "apply", s.writeFile("acme.ini", `[contract]
 customer = acme
 covers = instance
 [pool merge]
@@ -34,7 +35,7 @@
 window-ms = 3600000
 `), "--author", "test")
 	send := func(id string) int {
-		status, _, _, err := call(t, s.find("e1").callers, "merge", http.Header{
+		status, _, _, err := call(t, s.find("e1").callerAddr, "merge", http.Header{
 			stand.IDHeader: {id}, "Camphorridge-Timeout-Ms": {"1000"},
 		})
 		assert.NilError(t, err)
--- a/tests/surge_test.go
+++ b/tests/surge_test.go
@@ -12,19 +12,20 @@
 	"camphorridge/internal/stand"
 )
 
-// TestSurgeMovesSpareInstances guards against a surge in which an instance
-// serves two pools, or a request is cut off by a move. Two pools peak in turn,
-// so that instances pass from the spare pool to the one and on to the other.
+// TestSurgeMovesSpareInstances guards against an instance that serves two pools
+// during a surge, and against requests that the move of an instance cuts off.
+// The load peaks in one pool and then in another, so that instances move from
+// the spare pool to the first and then on to the second.
 func TestSurgeMovesSpareInstances(t *testing.T) {
 	l := threeZones("merge", "audit", "portal", "portal")
-	l.delay = 50 * time.Millisecond
-	l.control = "[capacity]\nsurge-keep = 0\n"
-	s := start(t, l)
+	l.requestDuration = 50 * time.Millisecond
+	l.controlSettings = "[capacity]\nsurge-keep = 0\n"
+	s := startSystem(t, l)
 	s.wait("all instances", func() bool {
 		out, err := s.cli("instances")
 		return err == nil && strings.Count(out, " serving ") == 12
 	})
-	s.must("contract", "apply", s.write("acme.ini", `[contract]
+	s.retryCLI("contract", "apply", s.writeFile("acme.ini", `[contract]
 customer = acme
 covers = instance
 queue = 700
@@ -40,7 +41,7 @@
 instances = 6
 pool = portal
 `), "--author", "test")
-	s.ready()
+	s.waitReady()
 	for _, pool := range []string{"merge", "audit"} {
 		ctx, cancel := context.WithCancel(context.Background())
 		sums := make(chan stand.Summary, 1)
@@ -49,7 +50,7 @@
 			Requests: 1_000_000, Concurrency: 120, Timeout: 20 * time.Second, Prefix: "surge-",
 		}
 		go func() { sums <- load.Run(ctx) }()
-		s.wait("spare instances in pool "+pool, func() bool { return s.servingIn(pool) > 3 })
+		s.wait("spare instances in pool "+pool, func() bool { return s.servingCount(pool) > 3 })
 		time.Sleep(2 * time.Second)
 		cancel()
 		for _, a := range (<-sums).Answers {
@@ -58,12 +59,13 @@
 			}
 		}
 	}
-	s.wait("the spare pool to be whole again", func() bool { return s.servingIn("portal") == 6 })
-	s.checkOnePool()
+	s.wait("the spare pool to be whole again", func() bool { return s.servingCount("portal") == 6 })
+	s.checkPoolsDoNotOverlap()
 }
 
-// servingIn is the number of instances that serve a pool.
-func (s *system) servingIn(pool string) int {
+// servingCount returns the number of instances that serve a pool, or 0 if the
+// command failed.
+func (s *system) servingCount(pool string) int {
 	out, err := s.cli("instances")
 	if err != nil {
 		return 0
@@ -78,23 +80,23 @@
 	return n
 }
 
-// checkOnePool checks by the upstreams' own records that the requests of two
-// pools never overlap in an instance: a pool's request may start only when
-// those of the pool before have ended.
-func (s *system) checkOnePool() {
+// checkPoolsDoNotOverlap checks by the upstreams' records that an instance
+// never ran requests of two pools at the same time: the first request of a pool
+// may start only after all requests of the pool before have ended.
+func (s *system) checkPoolsDoNotOverlap() {
 	s.t.Helper()
 	moves := 0
-	last := map[string]stand.HandledRequest{}
+	lastRun := map[string]stand.HandledRequest{}
 	busyUntil := map[string]clock.Millis{}
-	for _, p := range s.platform {
+	for _, p := range s.platforms {
 		for _, r := range p.Record() {
-			before, ok := last[r.Instance]
+			before, ok := lastRun[r.Instance]
 			if ok && before.Pool != r.Pool {
 				moves++
 				assert.Assert(s.t, r.Started >= busyUntil[r.Instance],
 					"instance %s began %s of pool %s while requests of pool %s ran", r.Instance, r.ID, r.Pool, before.Pool)
 			}
-			last[r.Instance] = r
+			lastRun[r.Instance] = r
 			busyUntil[r.Instance] = max(busyUntil[r.Instance], r.Ended)
 		}
 	}
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -17,11 +17,12 @@
 	"camphorridge/internal/stand"
 )
 
-// patience bounds every wait for a condition. It is far above what the
-// condition takes, so that a slow machine fails no test.
-const patience = 60 * time.Second
+// waitTimeout is the timeout of every wait for a condition. It is far longer
+// than any wait takes, so that no test fails because the machine is slow.
+const waitTimeout = 60 * time.Second
 
-var program string
+// programPath is the path of the program under test, which TestMain builds.
+var programPath string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "camphorridge-tests-")
@@ -29,8 +30,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	program = filepath.Join(dir, "camphorridge")
-	out, err := exec.Command("go", "build", "-o", program, "camphorridge/cmd/camphorridge").CombinedOutput()
+	programPath = filepath.Join(dir, "camphorridge")
+	out, err := exec.Command("go", "build", "-o", programPath, "camphorridge/cmd/camphorridge").CombinedOutput()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
@@ -40,34 +41,42 @@
 	os.Exit(status)
 }
 
-// process is one process of the system.
+// process is a control or entry process of the system under test.
 type process struct {
-	name, zone, role string
-	file, log, data  string
-	peers, callers   string
-	upstreams, admin string
-	cmd              *exec.Cmd
-	exited           chan struct{}
+	name, zone, role                  string
+	settingsFile, logFile, dataFolder string
+	peerAddr, callerAddr              string
+	upstreamAddr, adminAddr           string
+	cmd                               *exec.Cmd
+	exited                            chan struct{}
 }
 
-// system is a running system with its own loopback addresses.
+// system is a running system on a loopback network of its own.
 type system struct {
-	t        testing.TB
-	dir      string
-	octet    int
-	hosts    int
+	t   testing.TB
+	dir string
+	// octet is the second byte of the addresses of the loopback network.
+	octet int
+	// lastIP is the number of IP addresses that newIP has returned.
+	lastIP   int
 	controls []*process
 	entries  []*process
-	// concurrency is that of the contracts; 0 derives it from the instances.
+	// concurrency is written into the contracts; 0 makes the system derive it from
+	// the instances.
 	concurrency int
-	// relays holds the relay from a zone to a process of another zone.
-	relays   map[string]*stand.Relay
-	platform map[string]*stand.Platform
+	// relays holds the relays between zones by "zone>process": each forwards from
+	// one zone to a process of another.
+	relays map[string]*stand.Relay
+	// platforms holds the stand-in platform of each zone.
+	platforms map[string]*stand.Platform
 }
 
-// claimPort is the port by which systems exclude each other from a network.
+// claimPort is the port that a system listens on to keep other systems under
+// test out of its loopback network.
 const claimPort = 6999
 
+// claimNetwork claims a loopback network for the duration of the test and
+// returns the second byte of its addresses.
 func claimNetwork(t testing.TB) int {
 	t.Helper()
 	octet, claim, err := stand.ClaimNetwork(claimPort)
@@ -76,37 +85,44 @@
 	return octet
 }
 
-func (s *system) host() string {
-	s.hosts++
-	return fmt.Sprintf("127.%d.%d.%d", s.octet, s.hosts/200, s.hosts%200+1)
+// newIP returns an IP address of the loopback network that nothing uses yet.
+func (s *system) newIP() string {
+	s.lastIP++
+	return fmt.Sprintf("127.%d.%d.%d", s.octet, s.lastIP/200, s.lastIP%200+1)
 }
 
-// layout names the zones of the control and the entry processes.
+// layout describes the processes and upstreams of a system and their settings.
 type layout struct {
+	// controls and entries hold the zone of each control and entry process.
 	controls, entries []string
-	// upstreams holds the pools of each zone's instances.
+	// upstreams holds, for each zone, the pool of each of its instances.
 	upstreams map[string][]string
-	delay     time.Duration
-	// extra is appended to the settings of all processes, and control and entry
-	// to those of the processes of one role.
-	extra, control, entry string
+	// requestDuration is how long an upstream takes for a request.
+	requestDuration time.Duration
+	// allSettings is appended to the settings of all processes, controlSettings and
+	// entrySettings to those of the control and the entry processes.
+	allSettings, controlSettings, entrySettings string
 }
 
+// threeZones returns a layout of three zones with a control process each and
+// seven entry processes. Each zone has one instance for each of the given
+// pools.
 func threeZones(pools ...string) layout {
 	return layout{
-		controls:  []string{"za", "zb", "zc"},
-		entries:   []string{"za", "za", "za", "zb", "zb", "zc", "zc"},
-		upstreams: map[string][]string{"za": pools, "zb": pools, "zc": pools},
-		delay:     2 * time.Millisecond,
+		controls:        []string{"za", "zb", "zc"},
+		entries:         []string{"za", "za", "za", "zb", "zb", "zc", "zc"},
+		upstreams:       map[string][]string{"za": pools, "zb": pools, "zc": pools},
+		requestDuration: 2 * time.Millisecond,
 	}
 }
 
-func start(t testing.TB, l layout) *system {
+// startSystem starts a system, which ends with the test.
+func startSystem(t testing.TB, l layout) *system {
 	t.Helper()
 	octet := claimNetwork(t)
 	s := &system{
 		t: t, dir: t.TempDir(), octet: octet,
-		relays: map[string]*stand.Relay{}, platform: map[string]*stand.Platform{},
+		relays: map[string]*stand.Relay{}, platforms: map[string]*stand.Platform{},
 	}
 	for i, z := range l.controls {
 		s.controls = append(s.controls, s.newProcess(fmt.Sprintf("c%d", i+1), z, "control"))
@@ -115,42 +131,43 @@
 		s.entries = append(s.entries, s.newProcess(fmt.Sprintf("e%d", i+1), z, "entry"))
 	}
 	for z, pools := range l.upstreams {
-		s.startPlatform(z, pools, l.delay)
+		s.startPlatform(z, pools, l.requestDuration)
 	}
-	for _, p := range s.all() {
-		extra := l.extra
+	for _, p := range s.processes() {
+		extra := l.allSettings
 		switch p.role {
 		case "control":
-			extra += l.control
+			extra += l.controlSettings
 		case "entry":
-			extra += l.entry
+			extra += l.entrySettings
 		}
 		s.writeSettings(p, extra)
 	}
 	t.Cleanup(s.close)
-	for _, p := range s.all() {
-		s.run(p)
+	for _, p := range s.processes() {
+		s.startProcess(p)
 	}
 	return s
 }
 
+// newProcess describes a process. It does not start it.
 func (s *system) newProcess(name, zone, role string) *process {
-	h := s.host()
+	h := s.newIP()
 	p := &process{
 		name: name, zone: zone, role: role,
-		file: filepath.Join(s.dir, name+".ini"), log: filepath.Join(s.dir, name+".log"),
-		data:  filepath.Join(s.dir, "data-"+name),
-		peers: h + ":7000", admin: h + ":7001", callers: h + ":8000", upstreams: h + ":8001",
+		settingsFile: filepath.Join(s.dir, name+".ini"), logFile: filepath.Join(s.dir, name+".log"),
+		dataFolder: filepath.Join(s.dir, "data-"+name),
+		peerAddr:   h + ":7000", adminAddr: h + ":7001", callerAddr: h + ":8000", upstreamAddr: h + ":8001",
 	}
 	return p
 }
 
-func (s *system) all() []*process {
+func (s *system) processes() []*process {
 	return append(append([]*process(nil), s.controls...), s.entries...)
 }
 
 func (s *system) find(name string) *process {
-	for _, p := range s.all() {
+	for _, p := range s.processes() {
 		if p.name == name {
 			return p
 		}
@@ -159,49 +176,51 @@
 	return nil
 }
 
-// reach is the address by which a zone reaches a process: its own within the
-// zone, a relay from elsewhere.
-func (s *system) reach(zone string, p *process) string {
+// addrFrom returns the address at which processes of a zone reach a process:
+// its own address within the same zone, and the address of a relay otherwise.
+func (s *system) addrFrom(zone string, p *process) string {
 	if zone == p.zone {
-		return p.peers
+		return p.peerAddr
 	}
 	key := zone + ">" + p.name
 	r, ok := s.relays[key]
 	if !ok {
-		r = newRelay(s.t, s.host()+":7000", p.peers)
+		r = newRelay(s.t, s.newIP()+":7000", p.peerAddr)
 		s.relays[key] = r
 	}
 	return r.Addr()
 }
 
+// writeSettings writes the settings file of a process. extra is appended to it.
 func (s *system) writeSettings(p *process, extra string) {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "[process]\nname = %s\nzone = %s\n", p.name, p.zone)
 	if p.role == "control" {
-		fmt.Fprintf(&b, "data-folder = %s\n[listen]\npeers = %s\nadmin = %s\n[platform]\n", p.data, p.peers, p.admin)
-		for z, f := range s.platform {
-			fmt.Fprintf(&b, "zone-%s = %s\n", z, f.Addr())
+		fmt.Fprintf(&b, "data-folder = %s\n[listen]\npeers = %s\nadmin = %s\n[platform]\n", p.dataFolder, p.peerAddr, p.adminAddr)
+		for z, platform := range s.platforms {
+			fmt.Fprintf(&b, "zone-%s = %s\n", z, platform.Addr())
 		}
 	} else {
-		fmt.Fprintf(&b, "[listen]\ncallers = %s\nupstreams = %s\npeers = %s\nadmin = %s\n", p.callers, p.upstreams, p.peers, p.admin)
+		fmt.Fprintf(&b, "[listen]\ncallers = %s\nupstreams = %s\npeers = %s\nadmin = %s\n", p.callerAddr, p.upstreamAddr, p.peerAddr, p.adminAddr)
 	}
 	fmt.Fprintln(&b, "[control]")
 	for _, o := range s.controls {
-		fmt.Fprintf(&b, "member-%s = %s@%s\n", o.name, o.zone, s.reach(p.zone, o))
+		fmt.Fprintf(&b, "member-%s = %s@%s\n", o.name, o.zone, s.addrFrom(p.zone, o))
 	}
 	fmt.Fprintln(&b, "[entry]")
 	for _, o := range s.entries {
-		fmt.Fprintf(&b, "member-%s = %s@%s\n", o.name, o.zone, s.reach(p.zone, o))
+		fmt.Fprintf(&b, "member-%s = %s@%s\n", o.name, o.zone, s.addrFrom(p.zone, o))
 	}
 	fmt.Fprint(&b, extra)
-	assert.NilError(s.t, os.WriteFile(p.file, b.Bytes(), 0o600))
+	assert.NilError(s.t, os.WriteFile(p.settingsFile, b.Bytes(), 0o600))
 }
 
+// startPlatform starts the stand-in platform of a zone and its upstreams.
 func (s *system) startPlatform(zone string, pools []string, delay time.Duration) {
 	var announce []string
 	for _, e := range s.entries {
 		if e.zone == zone {
-			announce = append(announce, e.upstreams)
+			announce = append(announce, e.upstreamAddr)
 		}
 	}
 	var all []stand.Options
@@ -209,20 +228,21 @@
 		all = append(all, stand.Options{
 			Instance: fmt.Sprintf("%s-i%02d", zone, i), Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/4),
 			Pool: pool, Slots: 8, Connections: 64, AnnounceTo: announce, Delay: delay,
-			Address: s.host() + ":9000",
+			Address: s.newIP() + ":9000",
 		})
 	}
-	f, err := stand.StartPlatform(s.host()+":9100", 300*time.Millisecond, all)
+	platform, err := stand.StartPlatform(s.newIP()+":9100", 300*time.Millisecond, all)
 	assert.NilError(s.t, err)
-	s.platform[zone] = f
+	s.platforms[zone] = platform
 }
 
-func (s *system) run(p *process) {
+// startProcess starts a process, whose output is appended to its log file.
+func (s *system) startProcess(p *process) {
 	s.t.Helper()
-	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(s.t, err)
 	defer f.Close()
-	p.cmd = exec.Command(program, p.role, "--settings", p.file)
+	p.cmd = exec.Command(programPath, p.role, "--settings", p.settingsFile)
 	p.cmd.Stdout, p.cmd.Stderr = f, f
 	assert.NilError(s.t, p.cmd.Start())
 	p.exited = make(chan struct{})
@@ -236,19 +256,21 @@
 	_ = s.find(name).cmd.Process.Signal(sig)
 }
 
+// kill sends SIGKILL to a process and waits until it has exited.
 func (s *system) kill(name string) {
 	s.signal(name, syscall.SIGKILL)
 	<-s.find(name).exited
 }
 
-// stop asks for a graceful stop and waits for its end.
+// stop sends SIGTERM to a process, waits until it has exited, and returns its
+// exit code.
 func (s *system) stop(name string) int {
 	s.t.Helper()
 	s.signal(name, syscall.SIGTERM)
 	p := s.find(name)
 	select {
 	case <-p.exited:
-	case <-time.After(patience):
+	case <-time.After(waitTimeout):
 		s.t.Fatalf("%s did not stop", name)
 	}
 	return p.cmd.ProcessState.ExitCode()
@@ -258,21 +280,21 @@
 	if s.t.Failed() {
 		s.dumpLogs()
 	}
-	for _, p := range s.all() {
+	for _, p := range s.processes() {
 		if p.cmd != nil {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 			_ = p.cmd.Process.Kill()
 			<-p.exited
 		}
 	}
-	for _, f := range s.platform {
-		f.Close()
+	for _, platform := range s.platforms {
+		platform.Close()
 	}
 }
 
 func (s *system) dumpLogs() {
-	for _, p := range s.all() {
-		b, _ := os.ReadFile(p.log)
+	for _, p := range s.processes() {
+		b, _ := os.ReadFile(p.logFile)
 		if len(b) > 2000 {
 			b = b[len(b)-2000:]
 		}
@@ -280,8 +302,8 @@
 	}
 }
 
-// cut sets the mode of all relays between a zone and the others.
-func (s *system) cut(zone string, m stand.RelayMode) {
+// setRelayMode sets the mode of all relays from and to a zone.
+func (s *system) setRelayMode(zone string, m stand.RelayMode) {
 	for key, r := range s.relays {
 		from, to, _ := strings.Cut(key, ">")
 		if from == zone || s.find(to).zone == zone {
@@ -290,25 +312,26 @@
 	}
 }
 
-// cli runs a command of operators.
+// cli runs an operator's command and returns its output.
 func (s *system) cli(args ...string) (string, error) {
 	return s.cliAt(s.controls, args...)
 }
 
-// cliAt runs a command of operators that knows only some control members.
+// cliAt runs an operator's command that is given only some of the control
+// members.
 func (s *system) cliAt(members []*process, args ...string) (string, error) {
-	cmd := exec.Command(program, args...)
+	cmd := exec.Command(programPath, args...)
 	var list []string
 	for _, c := range members {
-		list = append(list, c.peers)
+		list = append(list, c.peerAddr)
 	}
 	cmd.Env = append(os.Environ(), "CAMPHORRIDGE_CONTROL="+strings.Join(list, ","))
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
 
-// must runs a command of operators until it succeeds.
-func (s *system) must(args ...string) string {
+// retryCLI runs an operator's command until it succeeds and returns its output.
+func (s *system) retryCLI(args ...string) string {
 	s.t.Helper()
 	var out string
 	s.wait("camphorridge "+strings.Join(args, " "), func() bool {
@@ -319,31 +342,34 @@
 	return out
 }
 
-// wait polls a condition until it holds.
+// wait polls f until it returns true. It fails the test after waitTimeout.
 func (s *system) wait(what string, f func() bool) {
 	s.t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitTimeout)
 	for !f() {
 		if time.Now().After(deadline) {
 			out, _ := s.cli("status")
-			s.t.Fatalf("timed out waiting for %s\n%s%s", what, out, s.describe())
+			s.t.Fatalf("timed out waiting for %s\n%s%s", what, out, s.formatMetrics())
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 }
 
-var probes = &http.Client{Timeout: time.Second}
+// probeClient is the HTTP client for calls that must be answered within a
+// second.
+var probeClient = &http.Client{Timeout: time.Second}
 
-// ready waits until every entry process serves the newest table.
-func (s *system) ready() {
+// waitReady waits until every entry process is ready: it serves by the newest
+// table.
+func (s *system) waitReady() {
 	s.t.Helper()
 	for _, e := range s.entries {
-		s.wait(e.name+" to be ready", func() bool { return s.isReady(e.admin) })
+		s.wait(e.name+" to be ready", func() bool { return s.isReady(e.adminAddr) })
 	}
 }
 
 func (s *system) isReady(admin string) bool {
-	resp, err := probes.Get("http://" + admin + "/readyz")
+	resp, err := probeClient.Get("http://" + admin + "/readyz")
 	if err != nil {
 		return false
 	}
@@ -351,8 +377,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// contract writes a contract file for the pools and applies it.
-func (s *system) contract(customer string, instances int, pools ...string) {
+// applyContract applies a contract for a number of instances of each of the
+// pools.
+func (s *system) applyContract(customer string, instances int, pools ...string) {
 	s.t.Helper()
 	var b strings.Builder
 	fmt.Fprintf(&b, "[contract]\ncustomer = %s\ncovers = instance\nconcurrency = %d\nqueue = 700\nretry-percent = 20\n", customer, s.concurrency)
@@ -360,34 +387,34 @@
 		fmt.Fprintf(&b, "[pool %s]\ninstances = %d\n", p, instances)
 	}
 	fmt.Fprint(&b, "[disruption]\nmax-unavailable = 1\nbudget-ms = 600000\nwindow-ms = 3600000\n")
-	s.must("contract", "apply", s.write(customer+".ini", b.String()), "--author", "test")
+	s.retryCLI("contract", "apply", s.writeFile(customer+".ini", b.String()), "--author", "test")
 }
 
-// write writes a file for the command line and returns its path.
-func (s *system) write(name, text string) string {
+// writeFile writes a file for the command line and returns its path.
+func (s *system) writeFile(name, text string) string {
 	s.t.Helper()
 	file := filepath.Join(s.dir, name)
 	assert.NilError(s.t, os.WriteFile(file, []byte(text), 0o600))
 	return file
 }
 
-// callerAddrs lists the callers' addresses of the entry processes of a zone,
-// or of all for an empty one.
+// callerAddrs returns the addresses at which the entry processes of a zone
+// serve callers, or those of all entry processes if zone is empty.
 func (s *system) callerAddrs(zone string) []string {
 	var all []string
 	for _, e := range s.entries {
 		if zone == "" || e.zone == zone {
-			all = append(all, e.callers)
+			all = append(all, e.callerAddr)
 		}
 	}
 	return all
 }
 
-// record returns what all upstreams ran.
-func (s *system) record() []stand.HandledRequest {
+// handledRequests returns the requests that all upstreams have handled.
+func (s *system) handledRequests() []stand.HandledRequest {
 	var all []stand.HandledRequest
-	for _, f := range s.platform {
-		all = append(all, f.Record()...)
+	for _, platform := range s.platforms {
+		all = append(all, platform.Record()...)
 	}
 	return all
 }
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -13,7 +13,7 @@
 
 // The JSON that the command line prints, as far as the tests read it.
 type (
-	overview struct {
+	statusView struct {
 		Leader    string        `json:"leader"`
 		Commit    uint64        `json:"commit"`
 		Version   uint64        `json:"version"`
@@ -41,10 +41,10 @@
 	}
 )
 
-// overview asks the leader for the status until it answers.
-func (s *system) overview() overview {
+// status waits for an answer of the leader and returns the status.
+func (s *system) status() statusView {
 	s.t.Helper()
-	var o overview
+	var o statusView
 	s.wait("the status", func() bool {
 		out, err := s.cli("status", "--json")
 		return err == nil && json.Unmarshal([]byte(out), &o) == nil
@@ -52,18 +52,19 @@
 	return o
 }
 
-// leader is the control process that leads.
+// leader returns the control process that is the leader.
 func (s *system) leader() *process {
 	s.t.Helper()
-	return s.find(s.overview().Leader)
+	return s.find(s.status().Leader)
 }
 
-// follower is a control process that does not lead, other than the ones named.
-func (s *system) follower(but ...string) *process {
+// follower returns a control process that is not the leader and not among those
+// named.
+func (s *system) follower(except ...string) *process {
 	s.t.Helper()
-	but = append(but, s.leader().name)
+	except = append(except, s.leader().name)
 	for _, c := range s.controls {
-		if !strings.Contains(strings.Join(but, " "), c.name) {
+		if !strings.Contains(strings.Join(except, " "), c.name) {
 			return c
 		}
 	}
@@ -71,6 +72,7 @@
 	return nil
 }
 
+// listInstances returns the instances, or an error if the command failed.
 func (s *system) listInstances() ([]instanceView, error) {
 	out, err := s.cli("instances", "--json")
 	if err != nil {
@@ -83,6 +85,7 @@
 	return v.Instances, err
 }
 
+// instances waits for an answer and returns the instances.
 func (s *system) instances() []instanceView {
 	s.t.Helper()
 	var all []instanceView
@@ -94,6 +97,7 @@
 	return all
 }
 
+// instance returns an instance, or the zero value if it is unknown.
 func (s *system) instance(id string) instanceView {
 	s.t.Helper()
 	for _, i := range s.instances() {
@@ -104,7 +108,8 @@
 	return instanceView{}
 }
 
-// declarations returns the declared maintenance by name.
+// declarations waits for an answer and returns the declared maintenance by
+// name.
 func (s *system) declarations() map[string]declarationView {
 	s.t.Helper()
 	var all map[string]declarationView
@@ -133,8 +138,9 @@
 	return all, nil
 }
 
-// declare declares maintenance of an instance that does not exist, which is a
-// change that has no effect beside itself.
+// declare declares maintenance of an instance that does not exist, which has no
+// other effect than the declaration itself. It asks the given control members,
+// or all if none are given.
 func (s *system) declare(name string, members ...*process) (string, error) {
 	if len(members) == 0 {
 		members = s.controls
@@ -143,21 +149,24 @@
 		"--deadline", "2099-01-01T00:00:00Z", "--base", "0", "--request", "request-"+name, "--author", "test")
 }
 
-// changes are declarations that were accepted, by name, with the version that
-// the command line printed.
-type changes struct {
+// declarationResults holds what became of concurrent declarations. accepted
+// maps the name of each accepted declaration to the version that the command
+// line printed, failed holds the output for each that failed, and count is the
+// number of accepted ones.
+type declarationResults struct {
 	mu       sync.Mutex
 	accepted map[string]uint64
 	failed   []string
 	count    atomic.Int64
 }
 
-// stream declares until stop is closed or n declarations were accepted. A
-// declaration whose answer was lost is sent again with the same identity, as
-// operators do; a refusal, a conflict, or no answer within patience is a
-// failure.
-func (s *system) stream(prefix string, workers, n int, stop <-chan struct{}) (*changes, *sync.WaitGroup) {
-	c := &changes{accepted: map[string]uint64{}}
+// startDeclaring declares maintenance in the background until stop is closed or
+// n declarations are done. It returns the results, and a group to wait for the
+// end. A declaration whose answer was lost is sent again with the same request
+// identity, as operators do. A refusal, a conflict, and no answer within
+// waitTimeout count as failures.
+func (s *system) startDeclaring(prefix string, workers, n int, stop <-chan struct{}) (*declarationResults, *sync.WaitGroup) {
+	r := &declarationResults{accepted: map[string]uint64{}}
 	var next atomic.Int64
 	var wg sync.WaitGroup
 	for range workers {
@@ -169,17 +178,19 @@
 				if i > n {
 					return
 				}
-				if !s.declareUntilAnswered(c, fmt.Sprintf("%s-%04d", prefix, i), stop) {
+				if !s.declareUntilAnswered(r, fmt.Sprintf("%s-%04d", prefix, i), stop) {
 					return
 				}
 			}
 		}()
 	}
-	return c, &wg
+	return r, &wg
 }
 
-func (s *system) declareUntilAnswered(c *changes, name string, stop <-chan struct{}) bool {
-	for deadline := time.Now().Add(patience); ; {
+// declareUntilAnswered sends one declaration until it is answered and records
+// the result. It returns false if stop was closed before.
+func (s *system) declareUntilAnswered(r *declarationResults, name string, stop <-chan struct{}) bool {
+	for deadline := time.Now().Add(waitTimeout); ; {
 		select {
 		case <-stop:
 			return false
@@ -190,44 +201,46 @@
 		if err == nil {
 			_, err = fmt.Sscanf(out, "accepted at version %d", &version)
 		}
-		c.mu.Lock()
+		r.mu.Lock()
 		switch {
 		case err == nil:
-			c.accepted[name] = version
-			c.count.Add(1)
+			r.accepted[name] = version
+			r.count.Add(1)
 		case strings.Contains(out, "conflict") || strings.Contains(out, "refused:"):
-			c.failed = append(c.failed, out)
+			r.failed = append(r.failed, out)
 			err = nil
 		case time.Now().After(deadline):
-			c.failed = append(c.failed, "no answer: "+out+s.describe())
+			r.failed = append(r.failed, "no answer: "+out+s.formatMetrics())
 			err = nil
 		}
-		c.mu.Unlock()
+		r.mu.Unlock()
 		if err == nil {
 			return true
 		}
 	}
 }
 
-// check compares the accepted changes with what the control group holds.
-func (c *changes) check(s *system) {
+// check fails the test if a declaration failed, if the control group does not
+// hold each accepted one at its version, or if two have the same version.
+func (r *declarationResults) check(s *system) {
 	s.t.Helper()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	assert.Equal(s.t, len(c.failed), 0, "%v", c.failed)
-	held := s.declarations()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.Equal(s.t, len(r.failed), 0, "%v", r.failed)
+	stored := s.declarations()
 	byVersion := map[uint64]string{}
-	for name, version := range c.accepted {
-		assert.Equal(s.t, held[name].Version, version, "%s was accepted at another version than it is held at", name)
+	for name, version := range r.accepted {
+		assert.Equal(s.t, stored[name].Version, version, "%s was accepted at another version than it is stored at", name)
 		assert.Equal(s.t, byVersion[version], "", "%s and another change were accepted at one version", name)
 		byVersion[version] = name
 	}
 }
 
-// caughtUp waits until a control process has committed what the leader had.
-func (s *system) caughtUp(p *process) {
+// waitCaughtUp waits until a control process has committed all that the leader
+// had committed at the time of the call.
+func (s *system) waitCaughtUp(p *process) {
 	s.t.Helper()
-	want := float64(s.overview().Commit)
+	want := float64(s.status().Commit)
 	s.wait(p.name+" to catch up", func() bool {
 		return s.metrics(p)["commit_index"] >= want
 	})
