plan, lend: name AssignFromIndex and SplitShare for what they do

plan.Decide said only that something is decided; it is Assign on an index, so it is AssignFromIndex. lend.Split did not say what is split; it is SplitShare.

--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -89,7 +89,7 @@
 		return nil, c.waits()
 	}
 	c.dirty = false
-	c.lastAssignment = plan.Decide(c.policy, c.settings, c.index, extras)
+	c.lastAssignment = plan.AssignFromIndex(c.policy, c.settings, c.index, extras)
 	var steps []model.InstanceStep
 	for _, m := range c.lastAssignment.Moves {
 		i := t.Instances[m.Instance]
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -15,13 +15,13 @@
 	for slots := range 20 {
 		for connections := range 80 {
 			for _, reserve := range []int{0, 25, 100} {
-				own, lendable, perSlot := Split(slots, connections, reserve)
+				own, lendable, perSlot := SplitShare(slots, connections, reserve)
 				assert.Assert(t, own+lendable*perSlot <= connections && lendable <= slots, "%d %d %d", slots, connections, reserve)
 				assert.Assert(t, lendable == 0 && own == connections || perSlot >= 1 && own >= slots, "%d %d %d", slots, connections, reserve)
 			}
 		}
 	}
-	own, lendable, perSlot := Split(4, 32, 25)
+	own, lendable, perSlot := SplitShare(4, 32, 25)
 	assert.DeepEqual(t, []int{own, lendable, perSlot}, []int{16, 3, 5})
 }
 
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -103,12 +103,12 @@
 // short pause does not cost a new request.
 func (Idle) KeepIdle(idle, lease clock.Millis) bool { return idle < lease }
 
-// Split divides a process's share of an upstream into own connections, the
+// SplitShare divides a process's share of an upstream into own connections, the
 // slots that may be lent, and the connections that go with each of them. Half
 // of the connections are always reserved for loans, so that no connection has
 // to be closed before slots are lent. Nothing can be lent when the other half
 // is smaller than the number of slots.
-func Split(slots, connections, reservePercent int) (own, lendable, perSlot int) {
+func SplitShare(slots, connections, reservePercent int) (own, lendable, perSlot int) {
 	reserve := (slots*reservePercent + 99) / 100
 	lendableConnections := connections / 2
 	lendable = min(slots-reserve, lendableConnections)
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -20,7 +20,7 @@
 		settings := Settings{BorrowReserve: true, MaxExchangeMoves: 4}
 		ids := h.instanceIDs()
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
-			a := Decide(Balance{}, settings, h.index, nil)
+			a := AssignFromIndex(Balance{}, settings, h.index, nil)
 			assert.DeepEqual(t, a, Assign(Balance{}, settings, h.input()))
 			if n := h.startMoves(a.Moves); n > 0 {
 				t.Fatalf("%d moves were refused: %v", n, a.Moves)
@@ -42,7 +42,7 @@
 		}
 		h.setLost(func(model.Instance) bool { return true }, false)
 		h.finishMoves()
-		h.startMoves(Decide(Spread{}, settings, h.index, nil).Moves)
+		h.startMoves(AssignFromIndex(Spread{}, settings, h.index, nil).Moves)
 		h.finishMoves()
 		checkStable(t, h, settings)
 	})
@@ -51,7 +51,7 @@
 // checkStable checks that a fleet without losses has all the instances that it
 // can have, and needs no further moves.
 func checkStable(t *rapid.T, h *fleetHarness, settings Settings) {
-	a := Decide(Spread{}, settings, h.index, nil)
+	a := AssignFromIndex(Spread{}, settings, h.index, nil)
 	required := 0
 	for _, n := range h.index.counts.required {
 		required += n
@@ -75,15 +75,15 @@
 		{Customer: "b", Spare: 2, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pb", Instances: 3}}},
 	}
 	h := newFleetHarness(1, 9, 3, contracts)
-	h.startMoves(Decide(Spread{}, Settings{}, h.index, nil).Moves)
+	h.startMoves(AssignFromIndex(Spread{}, Settings{}, h.index, nil).Moves)
 	h.finishMoves()
 	visited := 0
 	h.setLost(func(i model.Instance) bool { visited++; return i.Pool == "pa" }, true)
-	a := Decide(Spread{}, Settings{}, h.index, nil)
+	a := AssignFromIndex(Spread{}, Settings{}, h.index, nil)
 	assert.Equal(t, len(a.Moves), 1)
 	promised, _ := missingCounts(a)
 	assert.Equal(t, promised, 2)
-	assert.Equal(t, len(Decide(Spread{}, Settings{BorrowReserve: true}, h.index, nil).Moves), 3)
+	assert.Equal(t, len(AssignFromIndex(Spread{}, Settings{BorrowReserve: true}, h.index, nil).Moves), 3)
 }
 
 // optimalOutcome searches every assignment of a tiny fleet for the one with the
@@ -205,7 +205,7 @@
 			want := h.index.counts.missingAfterLoss(g, model.DomainZone, zone)
 			in := func(i model.Instance) bool { return string(i.Zone) == zone }
 			h.setLost(in, true)
-			got, _ := missingCounts(Decide(Spread{}, Settings{}, h.index, nil))
+			got, _ := missingCounts(AssignFromIndex(Spread{}, Settings{}, h.index, nil))
 			h.setLost(in, false)
 			if got != want {
 				t.Fatalf("the loss of %s leaves %d missing; stated were %d", zone, got, want)
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -36,7 +36,7 @@
 			for seed := range uint64(seeds) {
 				h := newFleetHarness(seed, 54, 3, userContracts(covers, 8, sizes...))
 				settle := func() {
-					a := Decide(policy, Settings{MaxExchangeMoves: 8}, h.index, nil)
+					a := AssignFromIndex(policy, Settings{MaxExchangeMoves: 8}, h.index, nil)
 					refused += float64(h.startMoves(a.Moves) + h.finishMoves())
 					m, e := missingCounts(a)
 					missing, exposed, idle = missing+float64(m), exposed+float64(e), idle+float64(a.Idle)/4
@@ -142,7 +142,7 @@
 			})
 		}
 		h := newFleetHarness(1, size.n, size.zones, c)
-		h.startMoves(Decide(Spread{}, Settings{}, h.index, nil).Moves)
+		h.startMoves(AssignFromIndex(Spread{}, Settings{}, h.index, nil).Moves)
 		h.finishMoves()
 		b.Run(fmt.Sprintf("index/%d", size.n), func(b *testing.B) { benchmarkPasses(b, h, false) })
 		b.Run(fmt.Sprintf("scan/%d", size.n), func(b *testing.B) { benchmarkPasses(b, h, true) })
@@ -174,7 +174,7 @@
 			in.Lost = lost
 			Assign(Spread{}, Settings{}, in)
 		} else {
-			Decide(Spread{}, Settings{}, index, nil)
+			AssignFromIndex(Spread{}, Settings{}, index, nil)
 		}
 		for id := range lost {
 			index.SetInstance(h.state.Instances[id], false)
--- a/core/state/plan/index.go
+++ b/core/state/plan/index.go
@@ -62,15 +62,15 @@
 			index.SetInstance(i, in.Lost[i.ID])
 		}
 	})
-	return Decide(policy, settings, index, in.Extras)
+	return AssignFromIndex(policy, settings, index, in.Extras)
 }
 
-// Decide returns the moves that fill every pool, most urgent first: promised
+// AssignFromIndex returns the moves that fill every pool, most urgent first: promised
 // instances before the spare, and last the exchanges for a better spread.
 // Instances that are being released or maintained stay where they are. The
 // index is unchanged afterwards; the caller reports the moves through
 // SetInstance.
-func Decide[P Policy](policy P, settings Settings, index *FleetIndex, extras []Extra) Assignment {
+func AssignFromIndex[P Policy](policy P, settings Settings, index *FleetIndex, extras []Extra) Assignment {
 	d := &draft[P]{policy: policy, settings: settings, contracts: index.contracts, counts: index.counts}
 	for _, e := range extras {
 		index.counts.addRequired(e.Pool, e.Count)
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -66,7 +66,7 @@
 	Reason  string
 }
 
-// Assignment is the result of Assign and Decide.
+// Assignment is the result of Assign and AssignFromIndex.
 type Assignment struct {
 	Moves []Move
 	Gaps  []Gap
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -30,7 +30,7 @@
 // sizes.
 func newSurgeHarness(seed uint64, sizes ...int) *surgeHarness {
 	h := &surgeHarness{fleet: newFleetHarness(seed, 50, 3, userContracts(model.DomainRack, 8, sizes...)), now: clock.Hour}
-	h.fleet.startMoves(Decide(Spread{}, Settings{}, h.fleet.index, nil).Moves)
+	h.fleet.startMoves(AssignFromIndex(Spread{}, Settings{}, h.fleet.index, nil).Moves)
 	h.fleet.finishMoves()
 	h.fleet.moves = 0
 	for k := range h.demand {
@@ -75,7 +75,7 @@
 		h.setDemand(k, p.Instances, weights.LowPercent)
 	}
 	_, extras := Surge(chooser, weights, h.holdings(), h.demand[:], h.now)
-	moves := Decide(Spread{}, Settings{}, h.fleet.index, extras).Moves
+	moves := AssignFromIndex(Spread{}, Settings{}, h.fleet.index, extras).Moves
 	h.violations += h.fleet.startMoves(moves)
 	if h.fleet.index.counts.instances["spare"] < weights.MinSpare {
 		h.violations++
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -139,7 +139,7 @@
 func (r *Router[P]) update(now clock.Millis, u *Upstream) {
 	u.Slots, u.Connections = r.shares(u)
 	if r.cfg.Lending {
-		u.Connections, u.Lendable, u.ConnectionsPerSlot = lend.Split(u.Slots, u.Connections, r.cfg.ReservePercent)
+		u.Connections, u.Lendable, u.ConnectionsPerSlot = lend.SplitShare(u.Slots, u.Connections, r.cfg.ReservePercent)
 	}
 	u.Address, u.Incarnation, u.HealthPath = u.announcement.Address, u.announcement.Incarnation, u.announcement.HealthPath
 	pool := u.routablePool(r.cfg.Zone)
