--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -10,22 +10,23 @@
 	"camphorridge/core/state/model"
 )
 
-// BenchmarkPlace reports, for each fit policy and sizer, how 900 tasks of five
-// customers with wrong declarations run on 50 workers: the time until all are
-// done, processors reserved but not used, use beyond a worker's size, disruptions
-// and starts; means over 3 seeds. The customers declare 40, 80, 100, 200 or 300
-// percent of what their tasks use.
+// BenchmarkPlace reports, for combinations of fit policy and sizer, how 900 tasks
+// of five customers run on 50 workers: the time until all are done, processors
+// reserved but not used, use beyond a worker's size, disruptions, starts and
+// violations, and the longest wait of an urgent task. The violations are summed
+// over 3 seeds, the wait is the maximum, the others are means. The customers
+// declare 40, 80, 100, 200 and 300 percent of what their tasks use.
 func BenchmarkPlace(b *testing.B) {
-	for _, u := range []struct {
+	for _, operator := range []struct {
 		name       string
 		milliCores int
 	}{{"pruefkette", 16000}, {"pomar-alto", 32000}} {
-		benchmarkPlacement(b, u.name+"/first-fit/declared", FirstFit{}, func() Declared { return Declared{} }, u.milliCores)
-		benchmarkPlacement(b, u.name+"/best-fit/declared", BestFit{}, func() Declared { return Declared{} }, u.milliCores)
-		benchmarkPlacement(b, u.name+"/best-fit/deviation", BestFit{}, func() *Deviation { return NewDeviation(1) }, u.milliCores)
-		benchmarkPlacement(b, u.name+"/best-fit/quantile", BestFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
-		benchmarkPlacement(b, u.name+"/worst-fit/quantile", WorstFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
-		benchmarkPlacement(b, u.name+"/first-fit/quantile", FirstFit{}, func() *Quantile { return NewQuantile(90) }, u.milliCores)
+		benchmarkPlacement(b, operator.name+"/first-fit/declared", FirstFit{}, func() Declared { return Declared{} }, operator.milliCores)
+		benchmarkPlacement(b, operator.name+"/best-fit/declared", BestFit{}, func() Declared { return Declared{} }, operator.milliCores)
+		benchmarkPlacement(b, operator.name+"/best-fit/deviation", BestFit{}, func() *Deviation { return NewDeviation(1) }, operator.milliCores)
+		benchmarkPlacement(b, operator.name+"/best-fit/quantile", BestFit{}, func() *Quantile { return NewQuantile(90) }, operator.milliCores)
+		benchmarkPlacement(b, operator.name+"/worst-fit/quantile", WorstFit{}, func() *Quantile { return NewQuantile(90) }, operator.milliCores)
+		benchmarkPlacement(b, operator.name+"/first-fit/quantile", FirstFit{}, func() *Quantile { return NewQuantile(90) }, operator.milliCores)
 	}
 }
 
@@ -116,9 +117,10 @@
 	return result
 }
 
-// BenchmarkHealthPolicy reports the runs lost to a worker that fails
-// everything, how often it was quarantined, and how many good workers were
-// quarantined while a class of tasks failed everywhere; means over 10 seeds.
+// BenchmarkHealthPolicy reports the runs that failed on a worker that fails
+// everything, the share of seeds in which a worker was quarantined then, and how
+// many good workers were quarantined while a class of tasks failed everywhere;
+// means over 10 seeds.
 func BenchmarkHealthPolicy(b *testing.B) {
 	benchmarkHealthPolicy(b, "trust", NoQuarantine{})
 	benchmarkHealthPolicy(b, "streak", ConsecutiveFailures{N: 3})
@@ -145,8 +147,8 @@
 	})
 }
 
-// BenchmarkPass reports the time and memory of one pass after 12 changes, six
-// ended runs and six new tasks, with and without the index of free capacity.
+// BenchmarkPass reports the time and memory of one pass after 12 changes (six
+// ended runs and six new tasks), with and without the index of free capacity.
 func BenchmarkPass(b *testing.B) {
 	for _, n := range []int{50, 500, 5100} {
 		for _, scan := range []bool{false, true} {
@@ -156,8 +158,8 @@
 	}
 }
 
-// benchmarkPasses reports as board-KiB the heap memory of a placer with all workers
-// and tasks, in KiB.
+// benchmarkPasses also reports the heap memory of a placer with all workers and
+// tasks, in KiB, as board-KiB.
 func benchmarkPasses(b *testing.B, workers int, scan bool) {
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -205,8 +207,9 @@
 	b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/1024, "board-KiB")
 }
 
-// BenchmarkCancel reports the time to accept 5,000 cancellations at once, half
-// of them of running tasks, and the longest of the passes that send the stops.
+// BenchmarkCancel reports the time to accept 5,000 cancellations at once, half of
+// them of running tasks, the number of passes that order the stops, and the time
+// of the longest of these passes.
 func BenchmarkCancel(b *testing.B) {
 	var cancelTime, longestPass time.Duration
 	passes := 0
--- a/core/state/place/customer.go
+++ b/core/state/place/customer.go
@@ -14,11 +14,12 @@
 	contract model.Contract
 	// used is the sum of what its running tasks have reserved.
 	used Size
-	// waiting may hold cancelled tasks; firstWaiting removes them when they
-	// reach the top.
+	// waiting may also hold tasks that no longer wait, such as cancelled ones;
+	// firstWaiting removes them when they reach the top.
 	waiting heap.Heap[queuedTask]
-	// blocked is set while nothing has changed that could let the first waiting
-	// task start. waitReason is what prevents it.
+	// blocked is set after a pass could start none of the customer's tasks, until
+	// something changes that could let one start. waitReason is what prevents
+	// the start of the first waiting task.
 	blocked    bool
 	waitReason WaitReason
 	// disrupted counts the customer's tasks that are disrupted now.
@@ -26,7 +27,7 @@
 	disruptionCosts []disruptionCost
 }
 
-// disruptionCost is the task time that one disruption cost.
+// disruptionCost is the time of a disruption and the task time that it cost.
 type disruptionCost struct {
 	at   clock.Millis
 	cost clock.Millis
@@ -74,17 +75,18 @@
 // quotaShare returns the largest share of its quota that the customer uses of
 // any resource.
 func (cs *customerState) quotaShare() float64 {
-	of := func(used, quota int) float64 {
+	share := func(used, quota int) float64 {
 		if quota == 0 {
 			return 0
 		}
 		return float64(used) / float64(quota)
 	}
 	q := cs.contract.Quota
-	return max(of(cs.used.MilliCores, q.MilliCores), of(cs.used.MemoryMiB, q.MemoryMiB), of(cs.used.Accelerators, q.Accelerators))
+	return max(share(cs.used.MilliCores, q.MilliCores), share(cs.used.MemoryMiB, q.MemoryMiB), share(cs.used.Accelerators, q.Accelerators))
 }
 
-// setDisrupted marks a task as disrupted or not and keeps the count.
+// setDisrupted sets whether a task is disrupted and updates the customer's
+// count.
 func (cs *customerState) setDisrupted(t *task, on bool) {
 	if t.disrupted == on {
 		return
@@ -98,18 +100,18 @@
 }
 
 // allowsDisruption reports whether the contract allows one more disruption of
-// the given cost, on top of extra disruptions with the total cost pending that
-// are already selected.
-func (cs *customerState) allowsDisruption(now, cost clock.Millis, extra int, pending clock.Millis) bool {
+// the given cost, in addition to those that are selected but not yet charged:
+// their number is selected and their total cost selectedCost.
+func (cs *customerState) allowsDisruption(now, cost clock.Millis, selected int, selectedCost clock.Millis) bool {
 	c := cs.contract
-	if cs.disrupted+extra+1 > c.MaxUnavailable {
+	if cs.disrupted+selected+1 > c.MaxUnavailable {
 		return false
 	}
-	return c.WindowMillis == 0 || cs.costInWindow(now)+pending+cost <= c.BudgetMillis
+	return c.WindowMillis == 0 || cs.costInWindow(now)+selectedCost+cost <= c.BudgetMillis
 }
 
-// costInWindow returns the total cost of the disruptions in the window that
-// ends now, and drops older ones.
+// costInWindow returns the total cost of the disruptions in the contract's
+// window that ends now, and forgets older ones.
 func (cs *customerState) costInWindow(now clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	kept := cs.disruptionCosts[:0]
--- a/core/state/place/fake_test.go
+++ b/core/state/place/fake_test.go
@@ -24,13 +24,13 @@
 	inFlight    []delivery
 	// violations describes tasks that ran on two workers at once.
 	violations []string
-	// usedCores sums up the cores in use at each step, and overload the part of
-	// them that exceeds the size of the worker.
+	// usedCores is the sum, over all steps, of the cores in use, and overload the
+	// sum of those in use beyond the size of their worker.
 	overload  float64
 	usedCores float64
 }
 
-// delivery is a message that arrives at a given time.
+// delivery is a message in flight: do is called when it arrives.
 type delivery struct {
 	at clock.Millis
 	do func()
@@ -54,7 +54,8 @@
 	stopping   bool
 }
 
-// actualTask is how a task really behaves, whatever its submitter declared.
+// actualTask is the actual behaviour of a task, which may differ from what its
+// submitter declared.
 type actualTask struct {
 	size       Size
 	duration   clock.Millis
@@ -86,8 +87,8 @@
 	f.inFlight = append(f.inFlight, delivery{f.now + delay, do})
 }
 
-// run returns the run that an action refers to. If that has ended, it returns a
-// new one, so that the action has no effect.
+// run returns the run to which an action refers. If that run has ended, it returns
+// an unused one, so that the action has no effect.
 func (f *fakePlatform) run(a Action) *fakeRun {
 	if r := f.workers[a.Worker].runs[a.Task]; r != nil && r.attempt == a.Attempt {
 		return r
@@ -129,8 +130,8 @@
 	return nil
 }
 
-// advanceTime advances the clock: messages arrive, tasks progress, leases
-// expire, and workers report what they run.
+// advanceTime advances the clock by one step: messages arrive, tasks progress,
+// leases expire, and workers report what they run.
 func advanceTime[F FitPolicy, S Sizer, J HealthPolicy](f *fakePlatform, placer *Placer[F, S, J], step clock.Millis) {
 	f.now += step
 	for k := 0; k < len(f.inFlight); k++ {
@@ -199,8 +200,8 @@
 	}
 }
 
-// newTask returns a task that uses the given milli-cores and declares a percentage
-// of them.
+// newTask returns a task that uses milliCores and declares declaredPercent of
+// them. It can checkpoint, be throttled or neither, depending on n.
 func (f *fakePlatform) newTask(customer, n, milliCores int, duration clock.Millis, declaredPercent int) Task {
 	t := Task{
 		ID: TaskID(fmt.Sprintf("t%d-%05d", customer, n)), Customer: model.Customer(fmt.Sprintf("team%d", customer)),
--- a/core/state/place/fit.go
+++ b/core/state/place/fit.go
@@ -1,14 +1,13 @@
 package place
 
-import (
-	"slices"
-)
+import "slices"
 
 // FitPolicy determines the order in which workers with free capacity are tried.
 type FitPolicy interface {
 	// Order returns the first bucket of the free-capacity index to try and the
-	// step to the next one, within least to top. Step 0 means that all workers
-	// are tried in the order of their names.
+	// step from one bucket to the next. Only buckets from least, the smallest
+	// that may hold enough, to top, the last of the index, are tried. Step 0
+	// means that all workers are tried in the order of their names.
 	Order(least, top int) (first, step int)
 }
 
@@ -16,7 +15,7 @@
 // whole workers free for large tasks.
 type BestFit struct{}
 
-// Order starts at the smallest sufficient bucket and goes up.
+// Order starts at the bucket least and goes up.
 func (BestFit) Order(least, _ int) (first, step int) { return least, 1 }
 
 // WorstFit tries the workers with the most free capacity first, so that the
--- a/core/state/place/health.go
+++ b/core/state/place/health.go
@@ -5,19 +5,23 @@
 	"math"
 )
 
-// Evidence describes a run that ended, for scoring the health of its worker.
+// Evidence is what is known about a run that ended when it is scored.
 type Evidence struct {
+	// Failed says that the run failed.
 	Failed bool
-	// FailedPeers is the number of other workers, out of Peers, whose latest
-	// run of the same class failed.
+	// Peers is the number of other workers that recently ran a task of the same
+	// class, and FailedPeers the number of those whose latest such run failed.
 	FailedPeers int
 	Peers       int
 }
 
-// HealthPolicy scores runs against their workers. A worker is quarantined when
-// the sum of its scores reaches Threshold; the sum never falls below 0.
+// HealthPolicy scores the runs of each worker. A worker is quarantined when the
+// sum of the scores of its runs reaches Threshold; the sum never falls below 0.
 type HealthPolicy interface {
+	// Score returns the score of a run: the higher it is, the more likely the
+	// worker is broken.
 	Score(Evidence) float64
+	// Threshold returns the sum at which a worker is quarantined.
 	Threshold() float64
 }
 
@@ -27,7 +31,7 @@
 // Score returns 0.
 func (NoQuarantine) Score(Evidence) float64 { return 0 }
 
-// Threshold returns infinity, which no sum reaches.
+// Threshold returns infinity, so that no worker reaches it.
 func (NoQuarantine) Threshold() float64 { return math.Inf(1) }
 
 // ConsecutiveFailures quarantines a worker after N failed runs in a row,
@@ -47,9 +51,10 @@
 // Threshold returns N.
 func (c ConsecutiveFailures) Threshold() float64 { return float64(c.N) }
 
-// PeerComparison compares each failure with the results of the same class on
-// other workers. The score is the logarithm of how much more likely a broken
-// worker explains the result, so a class that fails everywhere scores nothing.
+// PeerComparison compares each result with the results of the same class on
+// other workers. The score is the logarithm of a likelihood ratio: how probable
+// the result is on a broken worker, divided by how probable it is on a good one.
+// A failure of a class that fails on most workers therefore scores little.
 type PeerComparison struct {
 	// MinScore is the sum at which a worker is quarantined.
 	MinScore float64
@@ -72,12 +77,13 @@
 // Threshold returns MinScore.
 func (c PeerComparison) Threshold() float64 { return c.MinScore }
 
-// ClassHistory records the latest result of a class of tasks on each of its
-// most recent workers.
+// ClassHistory records the latest result of a class of tasks on each of at most
+// maxClassWorkers workers. When there are more, the worker that has been in the
+// history longest is dropped.
 type ClassHistory struct {
 	// failedLast holds for each worker whether its latest run of the class
-	// failed, and failures the number of workers where it did. order lists the
-	// workers by their first run, oldest first.
+	// failed, and failures is the number of workers where it did. order lists
+	// the workers in the order in which they were added.
 	failedLast map[WorkerID]bool
 	order      []WorkerID
 	failures   int
@@ -91,8 +97,8 @@
 
 // Add records the result of a run on w.
 func (h *ClassHistory) Add(w WorkerID, failed bool) {
-	if was, ok := h.failedLast[w]; ok {
-		if was {
+	if failedBefore, ok := h.failedLast[w]; ok {
+		if failedBefore {
 			h.failures--
 		}
 	} else {
@@ -103,29 +109,30 @@
 		h.failures++
 	}
 	if len(h.order) > maxClassWorkers {
-		old := h.order[0]
+		oldest := h.order[0]
 		h.order = h.order[1:]
-		if h.failedLast[old] {
+		if h.failedLast[oldest] {
 			h.failures--
 		}
-		delete(h.failedLast, old)
+		delete(h.failedLast, oldest)
 	}
 }
 
-// Evidence describes a run on w together with the results of the class on other
-// workers.
+// Evidence returns the evidence for a run on w: its result and the recorded
+// results of the class on other workers.
 func (h *ClassHistory) Evidence(w WorkerID, failed bool) Evidence {
 	e := Evidence{Failed: failed, FailedPeers: h.failures, Peers: len(h.failedLast)}
-	if was, ok := h.failedLast[w]; ok {
+	if failedBefore, ok := h.failedLast[w]; ok {
 		e.Peers--
-		if was {
+		if failedBefore {
 			e.FailedPeers--
 		}
 	}
 	return e
 }
 
-// quarantineReason describes why the worker is quarantined.
+// quarantineReason returns the reason that is reported for the quarantine of a
+// worker.
 func (w *worker) quarantineReason(threshold float64) string {
-	return fmt.Sprintf("%d runs in a row failed that other workers complete; score %.1f, threshold %.1f", w.failuresInRow, w.score, threshold)
+	return fmt.Sprintf("%d runs in a row failed; score %.1f, threshold %.1f", w.failuresInRow, w.score, threshold)
 }
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// advanceReservation starts the task that capacity is being freed for once it
-// fits. It cancels the reservation if the worker is drained or no task on it is
-// stopping any more.
+// advanceReservation starts the task for which capacity is being freed on a
+// worker as soon as it fits. It cancels the reservation if the worker is draining
+// or no task on it is stopping any more.
 func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
 	t := w.reservedFor
 	switch {
@@ -68,8 +68,8 @@
 	}
 }
 
-// handleTimers processes the expired timers: leases, quarantines, trials, and
-// orders to checkpoint or stop that were not confirmed.
+// handleTimers processes the expired timers. It ends leases, quarantines and
+// trials, and repeats orders to checkpoint or stop that were not confirmed.
 func (p *Placer[F, S, J]) handleTimers(now clock.Millis) {
 	for p.timers.Len() > 0 && p.timers.Top().at <= now {
 		expired := p.timers.Pop()
@@ -89,16 +89,16 @@
 		}
 		p.endTrial(w, now)
 		if p.quarantined[w.ID] && w.quarantinedAt+p.settings.QuarantineMillis <= now {
-			// With half of the threshold, the worker runs one task at a time
-			// and few failures quarantine it again.
+			// A worker with half of the threshold runs one task at a time, and
+			// a few failures quarantine it again.
 			w.score = p.health.Threshold() / 2
 			p.endQuarantine(w)
 		}
 	}
 }
 
-// endTrial marks a worker as proven once a task has run on it for the trial
-// time.
+// endTrial marks a worker as proven once a task has run on it for
+// TrialMillis.
 func (p *Placer[F, S, J]) endTrial(w *worker, now clock.Millis) {
 	for _, t := range w.tasks {
 		if !w.proven && now-t.startedAt >= p.settings.TrialMillis {
@@ -124,10 +124,10 @@
 }
 
 // usable reports whether a worker may get a task now. A worker with less than a
-// quarter of a lease left gets none. A worker that is not proven runs only
-// TrialTasks at once. One whose score is at least half of the threshold runs a
-// single task at a time, so that a worker that fails quickly does not use up
-// the queue.
+// quarter of a lease left gets none. A worker that is not proven runs at most
+// TrialTasks tasks at once. One whose score is at least half of the threshold
+// runs a single task at a time, so that a worker that fails tasks quickly does
+// not fail the whole queue.
 func (p *Placer[F, S, J]) usable(w *worker, now clock.Millis) bool {
 	if w.Draining || p.quarantined[w.ID] || w.leaseEnd < now+p.settings.LeaseMillis/4 {
 		return false
@@ -138,7 +138,8 @@
 	return w.score < p.health.Threshold()/2 || len(w.tasks) == 0
 }
 
-// attemptsPerTerm is an upper bound on the starts of one task in one term.
+// attemptsPerTerm is an upper bound on the starts of one task in one term, so
+// that attempts of different terms have different numbers.
 const attemptsPerTerm = 1_000_000
 
 // start assigns a task to a worker and adds the start action to the plan.
@@ -157,9 +158,8 @@
 	})
 }
 
-// startWaiting starts tasks customer by customer. The customer with the most
-// urgent first task goes first; among equals, the one that uses the smallest
-// share of its quota.
+// startWaiting starts waiting tasks, one at a time, each time for the customer
+// that startsBefore puts first, until no customer has a task that can start.
 func (p *Placer[F, S, J]) startWaiting(now clock.Millis) {
 	active := make([]*customerState, 0, len(p.customers))
 	for _, id := range sortedKeys(p.customers) {
@@ -167,7 +167,7 @@
 			active = append(active, customer)
 		}
 	}
-	var failed []Size
+	var misfits []Size
 	for len(active) > 0 {
 		best := 0
 		for k := 1; k < len(active); k++ {
@@ -176,7 +176,7 @@
 			}
 		}
 		customer := active[best]
-		if !p.startOne(customer, now, &failed) {
+		if !p.startOne(customer, now, &misfits) {
 			customer.blocked = true
 		}
 		if customer.blocked || customer.firstWaiting() == nil {
@@ -185,7 +185,9 @@
 	}
 }
 
-// startsBefore reports whether customer a is served before customer b.
+// startsBefore reports whether customer a is served before customer b: the one
+// whose first waiting task is urgent or has the higher priority, and among
+// equals the one that uses the smaller share of its quota.
 func startsBefore(a, b *customerState) bool {
 	x, y := a.firstWaiting(), b.firstWaiting()
 	if x.Urgent != y.Urgent {
@@ -198,9 +200,9 @@
 }
 
 // startOne calls tryStart for the customer's first waiting tasks, at most
-// Lookahead of them, until one succeeds, and reports whether one did. failed
-// collects the sizes that fit on no worker.
-func (p *Placer[F, S, J]) startOne(customer *customerState, now clock.Millis, failed *[]Size) bool {
+// Lookahead of them, until one call succeeds, and reports whether one did. misfits
+// collects the sizes that fit on no worker in this pass.
+func (p *Placer[F, S, J]) startOne(customer *customerState, now clock.Millis, misfits *[]Size) bool {
 	var tried []*task
 	var firstReason WaitReason
 	started := false
@@ -211,7 +213,7 @@
 		}
 		customer.pop()
 		tried = append(tried, t)
-		if started = p.tryStart(customer, t, now, failed); started {
+		if started = p.tryStart(customer, t, now, misfits); started {
 			break
 		}
 		if len(tried) == 1 {
@@ -227,22 +229,24 @@
 	return started
 }
 
-// tryStart starts a task, or frees capacity for it if it is urgent, and reports
-// whether it did either. Otherwise it sets the customer's waitReason.
-func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, failed *[]Size) bool {
+// tryStart starts a task or, if the task is urgent, begins to free capacity for
+// it, and reports whether it did either. Otherwise it sets the customer's
+// waitReason.
+func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, misfits *[]Size) bool {
 	need := p.sizeToReserve(t.Task)
 	if !customer.used.Plus(need).Fits(customer.contract.Quota) {
 		customer.waitReason = WaitQuota
 		return false
 	}
 	customer.waitReason = WaitCapacity
-	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
+	// A size that is at least as large as one that fits on no worker is not tried.
+	if !slices.ContainsFunc(*misfits, func(s Size) bool { return s.Fits(need) }) {
 		if w := p.chooseWorker(t, need, now); w != nil {
 			p.start(t, w, now)
 			return true
 		}
 		if len(t.failedOn) == 0 {
-			*failed = append(*failed, need)
+			*misfits = append(*misfits, need)
 		}
 	}
 	if t.Urgent {
@@ -276,10 +280,10 @@
 	return nil
 }
 
-// scanWorkers examines all workers in the order of their names. It returns the
-// first suitable one if step is 0, and the one that comes first in the order of
-// the fit policy otherwise. It is used by the baseline policy and when the
-// index is disabled.
+// scanWorkers examines all workers in the order of their names instead of using
+// the index. It returns the first suitable one if step is 0, and otherwise the
+// one that comes first in the order of the fit policy. It is used with FirstFit
+// and with the setting FullScan.
 func (p *Placer[F, S, J]) scanWorkers(suitable func(WorkerID) *worker, step int) *worker {
 	var best *worker
 	for _, id := range sortedKeys(p.workers) {
@@ -298,8 +302,8 @@
 	return best
 }
 
-// addWait adds the reason why the customer's first waiting task does not start
-// to the plan.
+// addWait adds to the plan why the customer's first waiting task does not
+// start.
 func (p *Placer[F, S, J]) addWait(id model.Customer, customer *customerState) {
 	t := customer.firstWaiting()
 	if t == nil || !customer.blocked {
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -13,8 +13,8 @@
 	"camphorridge/core/state/model"
 )
 
-// disruptionAudit checks the disruption budgets using only the actions of the
-// placer.
+// disruptionAudit checks the disruption budgets independently of the placer's own
+// accounts: it uses only the actions of the plans.
 type disruptionAudit struct {
 	disrupted map[TaskID]bool
 	costs     map[model.Customer][]disruptionCost
@@ -41,7 +41,7 @@
 		case action.Reason == "cancelled" || strings.HasPrefix(action.Reason, "it still"):
 			continue
 		case a.disrupted[action.Task]:
-			continue // repeated order
+			continue // The order is repeated.
 		}
 		a.disrupted[action.Task] = true
 		a.costs[customer] = append(a.costs[customer], disruptionCost{now, cost})
@@ -57,19 +57,19 @@
 			}
 		}
 		if count > contract.MaxUnavailable || spent > contract.BudgetMillis {
-			t.Fatalf("%s: %d of %d disrupted, %d of %d ms spent by %v", customer, count, contract.MaxUnavailable, spent, contract.BudgetMillis, action)
+			t.Fatalf("customer %s: %d tasks disrupted, at most %d allowed; %d ms charged, at most %d allowed; after %v", customer, count, contract.MaxUnavailable, spent, contract.BudgetMillis, action)
 		}
 	}
 }
 
 // TestPlacementUnderFaults guards against a task that runs on two workers at once,
-// an exceeded quota or disruption budget, and forgotten tasks. Messages are lost
-// and late, workers are partitioned, declarations are wrong, and there are urgent
-// tasks and cancellations.
+// an exceeded quota or disruption budget, and tasks that never finish. Messages
+// are lost and late, workers are partitioned, declarations are wrong, and there
+// are urgent tasks and cancellations.
 func TestPlacementUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "workers"))
-		f.maxDelay, f.lossPercent = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "drop")
+		f.maxDelay, f.lossPercent = clock.Millis(rapid.IntRange(0, 4000).Draw(t, "delay")), rapid.IntRange(0, 10).Draw(t, "loss percent")
 		placer := NewPlacer(BestFit{}, NewQuantile(90), PeerComparison{MinScore: 6}, Defaults())
 		f.addWorkers(placer)
 		tasks, contracts := map[TaskID]Task{}, map[model.Customer]model.Contract{}
@@ -79,7 +79,7 @@
 			contracts[c.Customer] = c
 		}
 		audit := &disruptionAudit{disrupted: map[TaskID]bool{}, costs: map[model.Customer][]disruptionCost{}, startedAt: map[TaskID]clock.Millis{}}
-		declaredPercent := rapid.IntRange(20, 200).Draw(t, "off")
+		declaredPercent := rapid.IntRange(20, 200).Draw(t, "declared percent")
 		var accepted []TaskID
 		faulty := map[TaskID]bool{}
 		for step := range 4000 {
@@ -113,7 +113,7 @@
 			}
 			for _, g := range plan.GivenUp {
 				if !faulty[g.Task] {
-					t.Fatalf("given up: %v", g)
+					t.Fatalf("a task that does not fail was given up: %v", g)
 				}
 			}
 			assert.Equal(t, len(Execute(f, plan.Actions)), 0)
@@ -151,7 +151,7 @@
 			}
 			plan := placer.Pass(f.now)
 			if used := placer.customers["team0"].used.MilliCores; used > quota {
-				t.Fatalf("%d of %d in use", used, quota)
+				t.Fatalf("customer team0 uses %d milli-cores; its quota is %d", used, quota)
 			}
 			Execute(f, plan.Actions)
 			advanceTime(f, placer, 500)
@@ -159,8 +159,9 @@
 	})
 }
 
-// TestImpossibleWorkIsRefused guards against impossible tasks that wait instead of
-// being rejected, and against errors that do not state the sizes.
+// TestImpossibleWorkIsRefused guards against tasks that can never run and wait
+// instead of being rejected, and against errors that do not state the size or the
+// customer.
 func TestImpossibleWorkIsRefused(t *testing.T) {
 	f := newFake(1, 3)
 	placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
@@ -186,8 +187,9 @@
 	assert.ErrorContains(t, placer.Submit(x), "submitted before")
 }
 
-// preemptionActions fills one worker and returns the actions that free capacity
-// for an urgent task.
+// preemptionActions fills one worker with tasks of one customer, submits an urgent
+// task of another, and returns the kinds of the actions that free capacity for it
+// and the reason why the first waiting task waits, if any.
 func preemptionActions(t *testing.T, maxUnavailable int, budget clock.Millis) (kinds []ActionKind, reason WaitReason) {
 	f := newFake(1, 1)
 	placer := NewPlacer(BestFit{}, Declared{}, NoQuarantine{}, Defaults())
@@ -217,8 +219,9 @@
 	return kinds, reason
 }
 
-// TestPreemptionOrderAndBudget guards against an action that is used before a
-// milder one, and against disruptions beyond the budget.
+// TestPreemptionOrderAndBudget guards against throttling before checkpoints and
+// stops before either, and against disruptions beyond the number or the cost that
+// the contract allows.
 func TestPreemptionOrderAndBudget(t *testing.T) {
 	kinds, _ := preemptionActions(t, 4, clock.Hour)
 	assert.DeepEqual(t, kinds, []ActionKind{ActionCheckpoint, ActionCheckpoint, ActionThrottle, ActionStop})
@@ -230,8 +233,8 @@
 }
 
 // TestBrokenWorkersAndFailingTasks guards against a worker that fails everything
-// and still gets tasks, and against workers quarantined for tasks that fail
-// everywhere.
+// and keeps getting tasks, and against the quarantine of workers because of tasks
+// that fail everywhere.
 func TestBrokenWorkersAndFailingTasks(t *testing.T) {
 	failedRuns, quarantined := runHealthPolicy(PeerComparison{MinScore: 6}, 1, true, false)
 	assert.DeepEqual(t, quarantined, []WorkerID{"w0003"})
@@ -241,8 +244,8 @@
 }
 
 // TestNewLeaderStartsNothingTwice guards against a new leader that starts a task
-// which still runs, or which a late message of the previous leader starts after
-// the change.
+// that still runs, or that a late message of the previous leader starts after the
+// change of leader.
 func TestNewLeaderStartsNothingTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFake(rapid.Uint64().Draw(t, "seed"), 4)
@@ -259,7 +262,8 @@
 			x := f.newTask(0, n, 1000+n%3*1000, clock.Millis(5+n%20)*clock.Second, 100)
 			tasks[x.ID] = x
 		}
-		// Late reports reach the placer of the current leader.
+		// All terms use the same pointer, so that late reports reach the placer of
+		// the current leader.
 		placer := &Placer[BestFit, Declared, PeerComparison]{}
 		for term := 1; term <= 4; term++ {
 			*placer = *newPlacer(term)
@@ -287,16 +291,17 @@
 		if len(f.violations) > 0 {
 			t.Fatal(f.violations[0])
 		}
-		for id, j := range f.actual {
-			if !j.done {
-				t.Fatalf("%s did not run", id)
+		for id, actual := range f.actual {
+			if !actual.done {
+				t.Fatalf("%s was not completed", id)
 			}
 		}
 	})
 }
 
-// TestManyCancellationsAtOnce guards against many cancellations at once that leave
-// tasks running or waiting, or that delay urgent tasks.
+// TestManyCancellationsAtOnce guards against cancelled tasks that stay running or
+// waiting, and against urgent tasks that are delayed, when many tasks are
+// cancelled at once.
 func TestManyCancellationsAtOnce(t *testing.T) {
 	f := newFake(1, 40)
 	settings := Defaults()
@@ -340,8 +345,9 @@
 	}
 }
 
-// TestAttemptsDifferBetweenTerms guards against a late report about an attempt of
-// an earlier leader that ends the current run.
+// TestAttemptsDifferBetweenTerms guards against the same attempt number in two
+// terms: a late report about an attempt of an earlier leader would then end the
+// current run.
 func TestAttemptsDifferBetweenTerms(t *testing.T) {
 	f := newFake(1, 1)
 	start := func(term int) (*Placer[BestFit, Declared, NoQuarantine], int) {
@@ -363,8 +369,8 @@
 }
 
 // TestGivenUpTaskRestoresWorkerScores guards against workers that stay quarantined
-// because of a task that turned out to fail everywhere, under a policy that does
-// not compare workers with their peers.
+// because of a task that is given up later. The policy does not compare workers
+// with their peers and quarantines a worker at its first failure.
 func TestGivenUpTaskRestoresWorkerScores(t *testing.T) {
 	f := newFake(1, 4)
 	settings := Defaults()
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -22,18 +22,19 @@
 	workers   map[WorkerID]*worker
 	customers map[model.Customer]*customerState
 	classes   map[Class]*ClassHistory
-	// largest is the most of each resource of any worker that is not draining.
+	// largest holds, for each resource, the largest amount that any worker has
+	// that is not draining.
 	largest Size
 	// free indexes the workers by free capacity. preemptible indexes them by
-	// the capacity that would be free without the tasks that urgent work may
+	// the capacity that would be free without the tasks that an urgent task may
 	// preempt.
 	free        capacityIndex
 	preemptible capacityIndex
 	timers      heap.Heap[timer]
 	// toRenew holds the workers whose lease the next pass renews.
 	toRenew map[WorkerID]bool
-	// overcommitted holds the workers whose tasks reserve more than the worker
-	// has.
+	// overcommitted holds the workers whose tasks have reserved more than the
+	// size of the worker.
 	overcommitted map[WorkerID]bool
 	// reservedWorkers holds the workers on which capacity is being freed for a
 	// task.
@@ -60,10 +61,10 @@
 	tasks map[TaskID]*task
 	// used is the sum of what its tasks have reserved.
 	used Size
-	// preemptible is the part of used that urgent work may preempt.
+	// preemptible is the part of used that an urgent task may preempt.
 	preemptible Size
-	// leaseEnd is the end of the lease that was last sent; the worker itself
-	// may know an earlier end, never a later one.
+	// leaseEnd is the end of the lease that was last sent to the worker. The
+	// worker may have received only an earlier end, never a later one.
 	leaseEnd clock.Millis
 	// proven is set once a task has succeeded or has run for the trial time.
 	proven        bool
@@ -73,7 +74,7 @@
 	reservedFor   *task
 }
 
-// task is a Task with its state.
+// task is a Task with its scheduling state.
 type task struct {
 	Task
 	phase      Phase
@@ -82,10 +83,10 @@
 	reserved   Size
 	cpuPercent int
 	startedAt  clock.Millis
-	// leaseEnd is the end of the lease that the start was sent under.
+	// leaseEnd is the end of the lease under which the start was sent.
 	leaseEnd clock.Millis
 	// pendingAction is the order to checkpoint or stop that has not been
-	// confirmed.
+	// confirmed by a report of the end of the run.
 	pendingAction Action
 	// disrupted is set from a disruption until the task runs at its full size
 	// again.
@@ -95,11 +96,13 @@
 	queued     bool
 	reservedOn *worker
 	failedOn   []WorkerID
-	// scores holds the scores that the task's failures added to each worker.
+	// scores holds, for each worker, the sum of the scores of the task's
+	// failures there.
 	scores map[WorkerID]float64
 }
 
-// timer is a time at which a worker or a task has to be checked again.
+// timer is a time at which a worker or a task has to be checked again. A timer
+// without a worker and a task only causes a pass.
 type timer struct {
 	at     clock.Millis
 	worker WorkerID
@@ -107,8 +110,8 @@
 }
 
 // Before orders by time, then by name.
-func (d timer) Before(e timer) bool {
-	return cmp.Or(cmp.Compare(d.at, e.at), cmp.Compare(d.worker, e.worker), cmp.Compare(d.task, e.task)) < 0
+func (t timer) Before(u timer) bool {
+	return cmp.Or(cmp.Compare(t.at, u.at), cmp.Compare(t.worker, u.worker), cmp.Compare(t.task, u.task)) < 0
 }
 
 // NewPlacer returns a placer without tasks and workers.
@@ -125,9 +128,10 @@
 }
 
 // TakeOver sets the term of a new leader. Starts that the previous leader sent
-// may still reach workers until the lease that they were sent under expires;
-// nothing is started until then. Meanwhile the caller has to pass the tasks
-// that workers report as running to Adopt, and the remaining ones to Submit.
+// may still reach workers until the lease under which they were sent expires;
+// nothing is started until then. Meanwhile the caller has to pass the tasks that
+// workers report as running to Adopt; after that it passes the remaining tasks
+// to Submit.
 func (p *Placer[F, S, J]) TakeOver(term int, now clock.Millis) {
 	p.term, p.startAfter = term, now+p.settings.LeaseMillis+p.settings.SkewMillis
 	p.timers.Push(timer{at: p.startAfter})
@@ -167,21 +171,23 @@
 	Attempt int
 }
 
-// Heartbeat records that a worker is alive, the lease end that it has received,
-// and all the tasks that it runs. The next pass renews its lease.
+// Heartbeat processes a worker's report that it is alive: leaseEnd is the lease
+// end that the worker has received, and runs lists all tasks that it runs. The
+// next pass renews its lease.
 //
-// If a task that the worker should run is missing, either its start or the
-// report of its end was lost. That is certain only when the heartbeat was sent
-// after the end of the lease that the start was sent under, because the worker
-// refuses a start that arrives later.
+// If a task that the worker should run is missing from runs, either its start or
+// the report of its end was lost, or its start is still under way. The last case
+// is ruled out, and the task waits again, if the heartbeat was sent after the end
+// of the lease under which the start was sent: the worker refuses a start that
+// arrives after that.
 func (p *Placer[F, S, J]) Heartbeat(id WorkerID, leaseEnd clock.Millis, runs []Run) {
 	w := p.workers[id]
 	if w == nil {
 		return
 	}
 	p.toRenew[id] = true
-	// The worker had received the renewal that was sent at renewedAt when it
-	// sent the heartbeat.
+	// renewedAt is when the renewal that the worker last received was sent; the
+	// heartbeat was sent later.
 	renewedAt := leaseEnd - p.settings.LeaseMillis
 	for _, tid := range sortedKeys(w.tasks) {
 		t := w.tasks[tid]
@@ -192,9 +198,9 @@
 	}
 }
 
-// Submit accepts a task, or rejects at once a task that can never run. The
-// error is of KindImpossible, KindQuota, KindNoContract or KindDuplicate and
-// states the sizes.
+// Submit accepts a task, or rejects at once a task that can never run. The error
+// is an *Error of KindImpossible, KindQuota, KindNoContract or KindDuplicate;
+// the first two state the sizes.
 func (p *Placer[F, S, J]) Submit(t Task) error {
 	fail := func(kind Kind, format string, args ...any) error {
 		return &Error{Op: "submit task " + string(t.ID), Kind: kind, Err: fmt.Errorf(format, args...)}
@@ -226,10 +232,10 @@
 	return componentMax(s, Size{MilliCores: 1, MemoryMiB: 1})
 }
 
-// sizeToReserve returns what is reserved for an accepted task: at most its
-// customer's quota and the largest worker, to which the platform confines it. A
-// larger size that is learned later must not make an accepted task impossible
-// to run.
+// sizeToReserve returns what is reserved for an accepted task: its expected size,
+// but at most its customer's quota and the largest worker, so that a larger size
+// that is learned later does not make an accepted task impossible to run. The
+// platform confines the task to these limits.
 func (p *Placer[F, S, J]) sizeToReserve(t Task) Size {
 	return componentMin(p.expectedSize(t), componentMin(p.customers[t.Customer].contract.Quota, p.largest))
 }
@@ -245,8 +251,8 @@
 	return false
 }
 
-// Cancel ends tasks: waiting ones at once, running ones by a stop in one of the
-// next passes. Unknown names are ignored.
+// Cancel ends tasks: waiting ones at once, running ones by a stop that one of the
+// next passes orders. Unknown names are ignored.
 func (p *Placer[F, S, J]) Cancel(ids ...TaskID) {
 	for _, id := range ids {
 		t := p.tasks[id]
@@ -262,9 +268,9 @@
 	}
 }
 
-// orderEnd orders a running task to checkpoint or stop. A timer of half a
-// lease, which the caller sets, repeats the order until the end is reported or
-// the worker's lease expires.
+// orderEnd orders a running task to checkpoint or stop. The caller sets a timer
+// of half a lease, which repeats the order until the end of the run is reported
+// or the worker's lease expires.
 func (p *Placer[F, S, J]) orderEnd(t *task, kind ActionKind, reason string) {
 	t.phase = PhaseStopping
 	p.refreshWorker(t.worker)
@@ -272,8 +278,8 @@
 	p.out.Actions = append(p.out.Actions, t.pendingAction)
 }
 
-// ReportUsage records what a running task uses. Reports arrive late; those of
-// an earlier attempt are still used to learn the size of the class.
+// ReportUsage records what a running task uses. Reports may arrive late; a report
+// of an earlier attempt only contributes to the learned size of the class.
 func (p *Placer[F, S, J]) ReportUsage(id TaskID, attempt int, used Size) {
 	t := p.tasks[id]
 	if t == nil {
@@ -290,8 +296,8 @@
 		}
 		return
 	}
-	// The reservation stops growing at the customer's quota; the platform
-	// confines the task to it.
+	// The reservation grows at most until the customer's quota is used up; the
+	// platform confines the task to the quota.
 	customer := p.customers[t.Customer]
 	available := customer.contract.Quota.Minus(customer.used).Plus(t.reserved)
 	p.resize(t, componentMax(Size{}, componentMin(componentMax(used, p.sizeToReserve(t.Task)), available)))
@@ -318,7 +324,8 @@
 	}
 }
 
-// refreshWorker recomputes a worker's totals and updates its index entries.
+// refreshWorker recomputes what depends on the tasks of a worker: its preemptible
+// size, its entries in overcommitted and throttled, and its index entries.
 func (p *Placer[F, S, J]) refreshWorker(w *worker) {
 	w.preemptible = Size{}
 	throttled := false
@@ -340,8 +347,8 @@
 	p.updateIndex(w)
 }
 
-// updateIndex sets a worker's entries in the capacity indexes, or removes them
-// if it accepts no tasks.
+// updateIndex sets a worker's entries in the capacity indexes, or removes them if
+// the worker is draining, quarantined or reserved for a task.
 func (p *Placer[F, S, J]) updateIndex(w *worker) {
 	if w.Draining || p.quarantined[w.ID] || w.reservedFor != nil {
 		p.free.remove(w.ID)
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -8,21 +8,23 @@
 	"camphorridge/core/state/model"
 )
 
-// maxPreemptionWorkers is the number of workers that are compared when capacity
-// is freed for an urgent task.
+// maxPreemptionWorkers is the largest number of workers that are compared when
+// capacity is freed for an urgent task.
 const maxPreemptionWorkers = 16
 
-// victim is a task to be disrupted, how, and the cost of that.
+// victim is a task that is selected for a disruption.
 type victim struct {
 	task *task
+	// kind is ActionCheckpoint, ActionThrottle or ActionStop.
 	kind ActionKind
+	// cost is the task time that the disruption costs.
 	cost clock.Millis
 }
 
 // preemptFor frees capacity for an urgent task on the worker where that costs
-// least, and reports whether there is such a worker. If there is none, it sets
-// the customer's waitReason. The worker gets no other task until the capacity
-// is free.
+// least, and reserves the worker: it gets no other task until the capacity is
+// free. It reports whether capacity can be freed on any worker; if not, it sets
+// the customer's waitReason.
 func (p *Placer[F, S, J]) preemptFor(customer *customerState, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
@@ -32,8 +34,8 @@
 		if !p.usable(w, now) || slices.Contains(t.failedOn, id) || !need.Fits(w.Size.Minus(w.used).Plus(w.preemptible)) {
 			continue
 		}
-		lack := need.Minus(w.Size.Minus(w.used))
-		candidates, ok := p.selectVictims(w, lack, now, func(v *task) bool { return !v.Urgent })
+		shortfall := need.Minus(w.Size.Minus(w.used))
+		candidates, ok := p.selectVictims(w, shortfall, now, func(v *task) bool { return !v.Urgent })
 		cost := clock.Millis(0)
 		for _, v := range candidates {
 			cost += v.cost
@@ -51,7 +53,7 @@
 	p.disrupt(victims, now, "capacity is freed for urgent task "+string(t.ID))
 	p.updateIndex(best)
 	if need.Fits(best.Size.Minus(best.used)) {
-		// Throttling frees capacity at once.
+		// Throttling alone freed enough, and it takes effect at once.
 		p.cancelReservation(best)
 		p.start(t, best, now)
 	}
@@ -59,7 +61,8 @@
 }
 
 // preemptionWorkers lists the workers that would have the most free capacity
-// without their preemptible tasks.
+// without their preemptible tasks: at most maxPreemptionWorkers, and none below
+// the bucket least.
 func (p *Placer[F, S, J]) preemptionWorkers(least int) []WorkerID {
 	var out []WorkerID
 	for k := len(p.preemptible.buckets) - 1; k >= least && len(out) < maxPreemptionWorkers; k-- {
@@ -69,59 +72,59 @@
 	return out
 }
 
-// relieveOvercommitted disrupts tasks on a worker whose tasks use more than it
-// has, as far as budgets allow. Tasks that are stopping count as gone.
+// relieveOvercommitted disrupts tasks on a worker whose tasks have reserved more
+// than its size, as far as budgets allow. Tasks that are stopping count as gone.
 func (p *Placer[F, S, J]) relieveOvercommitted(w *worker, now clock.Millis) {
-	lack := w.used.Minus(w.Size)
+	shortfall := w.used.Minus(w.Size)
 	for _, t := range w.tasks {
 		if t.phase == PhaseStopping {
-			lack = lack.Minus(t.reserved)
+			shortfall = shortfall.Minus(t.reserved)
 		}
 	}
-	if lack.Fits(Size{}) {
+	if shortfall.Fits(Size{}) {
 		return
 	}
-	victims, _ := p.selectVictims(w, lack, now, func(*task) bool { return true })
+	victims, _ := p.selectVictims(w, shortfall, now, func(*task) bool { return true })
 	p.disrupt(victims, now, "the tasks on worker "+string(w.ID)+" use more than its size")
 }
 
-// selectVictims picks the tasks to disrupt until the lack is covered:
+// selectVictims selects allowed tasks to disrupt until the shortfall is covered:
 // checkpoints first, since no work is lost, then throttling, then stops. Each
 // disruption has to be within the budget of the task's customer. It reports
-// whether the lack is covered.
-func (p *Placer[F, S, J]) selectVictims(w *worker, lack Size, now clock.Millis, allowed func(*task) bool) ([]victim, bool) {
+// whether the shortfall is covered.
+func (p *Placer[F, S, J]) selectVictims(w *worker, shortfall Size, now clock.Millis, allowed func(*task) bool) ([]victim, bool) {
 	var out []victim
-	extra := map[model.Customer]int{}
-	pending := map[model.Customer]clock.Millis{}
-	taken := map[*task]bool{}
+	selectedCount := map[model.Customer]int{}
+	selectedCost := map[model.Customer]clock.Millis{}
+	selected := map[*task]bool{}
 	for _, kind := range []ActionKind{ActionCheckpoint, ActionThrottle, ActionStop} {
 		for _, t := range p.victimsFor(w, kind, now) {
-			if lack.Fits(Size{}) {
+			if shortfall.Fits(Size{}) {
 				return out, true
 			}
 			gain, cost := p.gainAndCost(t, kind, now)
 			customer := p.customers[t.Customer]
-			if taken[t] || !allowed(t) || !helps(gain, lack) || !customer.allowsDisruption(now, cost, extra[t.Customer], pending[t.Customer]) {
+			if selected[t] || !allowed(t) || !reducesShortfall(gain, shortfall) || !customer.allowsDisruption(now, cost, selectedCount[t.Customer], selectedCost[t.Customer]) {
 				continue
 			}
-			taken[t] = true
-			extra[t.Customer]++
-			pending[t.Customer] += cost
-			lack = lack.Minus(gain)
+			selected[t] = true
+			selectedCount[t.Customer]++
+			selectedCost[t.Customer] += cost
+			shortfall = shortfall.Minus(gain)
 			out = append(out, victim{task: t, kind: kind, cost: cost})
 		}
 	}
-	return out, lack.Fits(Size{})
+	return out, shortfall.Fits(Size{})
 }
 
-// helps reports whether the gain covers part of the lack.
-func helps(gain, lack Size) bool {
-	return (lack.MilliCores > 0 && gain.MilliCores > 0) || (lack.MemoryMiB > 0 && gain.MemoryMiB > 0) ||
-		(lack.Accelerators > 0 && gain.Accelerators > 0)
+// reducesShortfall reports whether the gain covers part of the shortfall.
+func reducesShortfall(gain, shortfall Size) bool {
+	return (shortfall.MilliCores > 0 && gain.MilliCores > 0) || (shortfall.MemoryMiB > 0 && gain.MemoryMiB > 0) ||
+		(shortfall.Accelerators > 0 && gain.Accelerators > 0)
 }
 
-// victimsFor lists the worker's running tasks to which the action can be
-// applied, those with the lowest priority and cost first and urgent ones last.
+// victimsFor lists the worker's running tasks to which the action can be applied:
+// urgent ones last, and otherwise by ascending priority, then ascending cost.
 func (p *Placer[F, S, J]) victimsFor(w *worker, kind ActionKind, now clock.Millis) []*task {
 	var out []*task
 	for _, id := range sortedKeys(w.tasks) {
@@ -145,11 +148,12 @@
 	return out
 }
 
-// throttledPercent is the share of its processors that a throttled task keeps.
+// throttledPercent is the share of its reserved processors that a throttled task
+// keeps.
 const throttledPercent = 50
 
-// gainAndCost returns the capacity that an action frees and the time that it
-// costs the task.
+// gainAndCost returns the capacity that an action on a task frees and the task
+// time that it costs.
 func (p *Placer[F, S, J]) gainAndCost(t *task, kind ActionKind, now clock.Millis) (Size, clock.Millis) {
 	switch kind {
 	case ActionCheckpoint:
@@ -180,15 +184,15 @@
 	}
 }
 
-// sendThrottle adds an action to the plan that sets the task's processor share.
+// sendThrottle adds an action to the plan that limits the task to its cpuPercent.
 func (p *Placer[F, S, J]) sendThrottle(t *task, reason string) {
 	p.out.Actions = append(p.out.Actions, Action{
 		Kind: ActionThrottle, Worker: t.worker.ID, Task: t.ID, Attempt: t.attempt, CPUPercent: t.cpuPercent, Reason: reason,
 	})
 }
 
-// restoreThrottled gives throttled tasks their full size back where it fits
-// again, except on workers that are reserved for a task.
+// restoreThrottled gives throttled tasks their full size back where it fits again.
+// It skips workers that are reserved for a task.
 func (p *Placer[F, S, J]) restoreThrottled() {
 	for _, id := range sortedKeys(p.throttled) {
 		w := p.workers[id]
--- a/core/state/place/run_end.go
+++ b/core/state/place/run_end.go
@@ -8,8 +8,8 @@
 )
 
 // maxFinished is the number of finished tasks whose names are kept. Submitters
-// send a task again within minutes; at the target scale that is a few thousand
-// tasks.
+// repeat a submission within minutes; at the target scale, a few thousand tasks
+// finish in that time.
 const maxFinished = 10_000
 
 // RunEnded records that a run of a task ended. Reports of earlier attempts are
@@ -61,8 +61,8 @@
 	p.unblockCustomers()
 }
 
-// requeue makes a task wait for its next start; a cancelled task is finished
-// instead.
+// requeue puts a task back into the queue of its customer. A cancelled task is
+// finished instead.
 func (p *Placer[F, S, J]) requeue(t *task) {
 	if t.cancelled {
 		p.finish(t)
@@ -72,8 +72,8 @@
 	p.customers[t.Customer].push(t)
 }
 
-// finish ends a task for good and forgets the oldest finished one beyond
-// maxFinished.
+// finish ends a task for good. If more than maxFinished tasks have finished, it
+// forgets the oldest of them.
 func (p *Placer[F, S, J]) finish(t *task) {
 	p.customers[t.Customer].setDisrupted(t, false)
 	t.phase = PhaseFinished
@@ -87,13 +87,13 @@
 	}
 }
 
-// giveUp ends a task that failed on several workers. Its failures are
-// subtracted from the scores of those workers because the task is the cause,
-// not the workers.
+// giveUp ends a task that failed on MaxFailedWorkers workers, or on all that are
+// neither draining nor quarantined. Its failures are subtracted from the scores of
+// the workers because the task is the cause, not the workers.
 func (p *Placer[F, S, J]) giveUp(t *task) {
-	for id, n := range t.scores {
+	for id, score := range t.scores {
 		w := p.workers[id]
-		w.score = max(0, w.score-n)
+		w.score = max(0, w.score-score)
 		if p.quarantined[id] && w.score < p.health.Threshold() {
 			p.endQuarantine(w)
 		}
@@ -104,19 +104,20 @@
 	p.finish(t)
 }
 
-// recordRun scores a run against its worker and quarantines the worker when the
-// sum reaches the threshold, unless more than MaxQuarantinedPercent of the
-// workers would be quarantined then. One worker may always be quarantined.
+// recordRun adds the score of a run to the sum of its worker. A failure
+// quarantines the worker if the sum reaches the threshold, unless more than
+// MaxQuarantinedPercent of the workers would be quarantined then. One worker may
+// always be quarantined.
 func (p *Placer[F, S, J]) recordRun(w *worker, t *task, failed bool, now clock.Millis) {
 	class := Class{t.Customer, t.Class}
-	r := p.classes[class]
-	if r == nil {
-		r = NewClassHistory()
-		p.classes[class] = r
-	}
-	n := p.health.Score(r.Evidence(w.ID, failed))
-	r.Add(w.ID, failed)
-	w.score = max(0, w.score+n)
+	history := p.classes[class]
+	if history == nil {
+		history = NewClassHistory()
+		p.classes[class] = history
+	}
+	score := p.health.Score(history.Evidence(w.ID, failed))
+	history.Add(w.ID, failed)
+	w.score = max(0, w.score+score)
 	if !failed {
 		w.failuresInRow, w.proven = 0, true
 		return
@@ -125,7 +126,7 @@
 	if t.scores == nil {
 		t.scores = map[WorkerID]float64{}
 	}
-	t.scores[w.ID] += n
+	t.scores[w.ID] += score
 	if w.score < p.health.Threshold() || p.quarantined[w.ID] || (len(p.quarantined)+1)*100 > max(100, len(p.workers)*p.settings.MaxQuarantinedPercent) {
 		return
 	}
@@ -139,7 +140,7 @@
 	p.updateIndex(w)
 }
 
-// endQuarantine lets a quarantined worker run tasks again.
+// endQuarantine lets a quarantined worker run tasks again, as an unproven worker.
 func (p *Placer[F, S, J]) endQuarantine(w *worker) {
 	delete(p.quarantined, w.ID)
 	w.failuresInRow, w.proven = 0, false
@@ -147,7 +148,8 @@
 	p.unblockCustomers()
 }
 
-// cancelReservation stops freeing capacity for a task on a worker.
+// cancelReservation ends the reservation of a worker for a task. The task goes
+// back into the queue if it still waits.
 func (p *Placer[F, S, J]) cancelReservation(w *worker) {
 	t := w.reservedFor
 	w.reservedFor, t.reservedOn = nil, nil
@@ -158,9 +160,9 @@
 	}
 }
 
-// expireLease ends the lease of a worker whose heartbeats stopped. Its runs
-// have ended by then, so its tasks may start on other workers. Their lost time
-// counts against the same budget as deliberate disruptions.
+// expireLease handles the end of the lease of a worker whose heartbeats stopped.
+// The worker has ended its runs by then, so its tasks may start on other workers.
+// The lost task time counts against the same budget as deliberate disruptions.
 func (p *Placer[F, S, J]) expireLease(w *worker, now clock.Millis) {
 	for _, id := range sortedKeys(w.tasks) {
 		t := w.tasks[id]
@@ -175,19 +177,20 @@
 	}
 }
 
-// Adopt adds a running task that its worker reported to a new leader. leaseEnd
-// is the end of the worker's lease, and started the start of the run.
-func (p *Placer[F, S, J]) Adopt(t Task, w WorkerID, attempt int, leaseEnd, started clock.Millis) {
-	on, customer := p.workers[w], p.customers[t.Customer]
-	if on == nil || customer == nil || p.tasks[t.ID] != nil {
+// Adopt adds a running task that its worker reported to a new leader. leaseEnd is
+// the end of the worker's lease, and started is when the run started. The task is
+// ignored if its worker or customer is unknown or the task itself is known.
+func (p *Placer[F, S, J]) Adopt(t Task, id WorkerID, attempt int, leaseEnd, started clock.Millis) {
+	w, customer := p.workers[id], p.customers[t.Customer]
+	if w == nil || customer == nil || p.tasks[t.ID] != nil {
 		return
 	}
-	adopted := &task{Task: t, phase: PhaseRunning, attempt: attempt, worker: on, cpuPercent: 100, startedAt: started, leaseEnd: leaseEnd}
+	adopted := &task{Task: t, phase: PhaseRunning, attempt: attempt, worker: w, cpuPercent: 100, startedAt: started, leaseEnd: leaseEnd}
 	p.tasks[t.ID] = adopted
-	on.tasks[t.ID] = adopted
-	if leaseEnd > on.leaseEnd {
-		on.leaseEnd = leaseEnd
-		p.timers.Push(timer{at: leaseEnd + p.settings.SkewMillis, worker: w})
+	w.tasks[t.ID] = adopted
+	if leaseEnd > w.leaseEnd {
+		w.leaseEnd = leaseEnd
+		p.timers.Push(timer{at: leaseEnd + p.settings.SkewMillis, worker: id})
 	}
 	p.resize(adopted, p.sizeToReserve(t))
 }
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -13,8 +13,8 @@
 	Name     string
 }
 
-// Sizer is the policy that determines how much to reserve for a task. Reports
-// arrive late: the first ones come after the task has run for a while.
+// Sizer is the policy that determines how much to reserve for a task. The first
+// reports on a task arrive only after it has run for a while.
 type Sizer interface {
 	// Observe records one report of a running task's use.
 	Observe(c Class, used Size)
@@ -31,19 +31,21 @@
 // Estimate returns the declared size.
 func (Declared) Estimate(_ Class, declared Size) Size { return declared }
 
-// minReports is the number of reports that a class needs before they replace the
-// declared size: a single one may come from a task that has only just started.
+// minReports is the number of reports from which the size of a class is estimated
+// instead of declared: a single report may come from a task that has only just
+// started.
 const minReports = 3
 
 // Deviation reserves the mean of past use plus a number of standard deviations.
-// Old reports lose weight.
+// The weight of a report decreases as newer ones arrive.
 type Deviation struct {
+	// StdDevs is the number of standard deviations that are added to the mean.
 	StdDevs float64
 	seen    map[Class]*moments
 }
 
-// moments are the running averages of a class's use: millicores first, MiB of
-// memory second.
+// moments are the running averages of a class's use. The first element of each
+// array is for milli-cores, the second for MiB of memory.
 type moments struct {
 	reports         int
 	mean            [2]float64
@@ -65,10 +67,10 @@
 		d.seen[c] = m
 	}
 	m.reports++
-	w := 1 / float64(min(m.reports, 20))
+	weight := 1 / float64(min(m.reports, 20))
 	for k, v := range [2]float64{float64(used.MilliCores), float64(used.MemoryMiB)} {
-		m.mean[k] += w * (v - m.mean[k])
-		m.meanSquare[k] += w * (v*v - m.meanSquare[k])
+		m.mean[k] += weight * (v - m.mean[k])
+		m.meanSquare[k] += weight * (v*v - m.meanSquare[k])
 	}
 	m.maxAccelerators = max(m.maxAccelerators, used.Accelerators)
 }
@@ -86,8 +88,8 @@
 	return Size{MilliCores: estimate(0), MemoryMiB: estimate(1), Accelerators: max(declared.Accelerators, m.maxAccelerators)}
 }
 
-// Quantile reserves a high quantile of the latest reports. It assumes nothing
-// about their distribution and forgets older ones.
+// Quantile reserves a high quantile of the latest windowReports reports. It
+// assumes nothing about their distribution and forgets older ones.
 type Quantile struct {
 	// Percent is the share of reports that the reserved size covers, 1 to 100.
 	Percent int
@@ -131,17 +133,16 @@
 		return declared
 	}
 	n := min(w.observed, windowReports)
-	over := n - (n*q.Percent+99)/100
+	above := n - (n*q.Percent+99)/100
 	return Size{
-		MilliCores:   nth(w.used[:n], over, func(s Size) int { return s.MilliCores }),
-		MemoryMiB:    nth(w.used[:n], over, func(s Size) int { return s.MemoryMiB }),
+		MilliCores:   nthLargest(w.used[:n], above, func(s Size) int { return s.MilliCores }),
+		MemoryMiB:    nthLargest(w.used[:n], above, func(s Size) int { return s.MemoryMiB }),
 		Accelerators: max(declared.Accelerators, w.maxAccelerators),
 	}
 }
 
-// nth returns the value at position skip when the values are sorted in
-// descending order.
-func nth(used []Size, skip int, value func(Size) int) int {
+// nthLargest returns the largest value after the n largest ones are left out.
+func nthLargest(used []Size, n int, value func(Size) int) int {
 	var sorted [windowReports]int
 	for k, s := range used {
 		pos := k
@@ -150,5 +151,5 @@
 		}
 		sorted[pos] = value(s)
 	}
-	return sorted[skip]
+	return sorted[n]
 }
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -5,7 +5,7 @@
 	"camphorridge/core/state/model"
 )
 
-// Identifiers and sizes of the package.
+// The identifiers of tasks and workers, and their sizes.
 type (
 	// TaskID is the name of a task.
 	TaskID string
@@ -29,32 +29,34 @@
 	// QuarantineMillis is how long a worker stays quarantined before it is
 	// tried again with a single task.
 	QuarantineMillis clock.Millis
-	// TrialTasks is the most tasks at once on an unproven worker. A worker is
-	// proven once one of its tasks succeeded or has run for TrialMillis. It
-	// limits how many tasks a worker that fails everything can fail at once.
+	// TrialTasks is the largest number of tasks that an unproven worker runs at
+	// once, which limits how many tasks a worker that fails everything can fail
+	// at once. A worker is proven once one of its tasks succeeded or has run for
+	// TrialMillis.
 	TrialTasks  int
 	TrialMillis clock.Millis
-	// MaxQuarantinedPercent is the largest share of workers that are
-	// quarantined at once. More failing workers than that have a common cause
-	// outside them.
+	// MaxQuarantinedPercent is the largest share of the workers that are
+	// quarantined at once. If more of them fail tasks, the failures are assumed
+	// to have a common cause outside the workers.
 	MaxQuarantinedPercent int
-	// MaxFailedWorkers is the number of different workers on which a task may
-	// fail before it is given up; at least 1.
+	// MaxFailedWorkers is the number of different workers on which a task fails
+	// until it is given up; at least 1. A task that failed on every worker that
+	// could run it is given up earlier.
 	MaxFailedWorkers int
-	// Lookahead is the number of waiting tasks of a customer that are tried
-	// when the first one cannot start; at least 1.
+	// Lookahead is the largest number of a customer's waiting tasks, including
+	// the first one, that are tried until one can start; at least 1.
 	Lookahead int
-	// StopsPerPass is the most stops that cancellations cause in one pass, so
-	// that many cancellations at once do not delay starts. The remaining stops
-	// follow after StopPauseMillis.
+	// StopsPerPass is the largest number of stops that are ordered for cancelled
+	// tasks in one pass, so that many cancellations at once do not delay starts.
+	// The next pass for the remaining stops follows after StopPauseMillis.
 	StopsPerPass    int
 	StopPauseMillis clock.Millis
-	// FullScan disables the index of free capacity: each choice examines all
-	// workers. It exists to measure what the index saves.
+	// FullScan disables the index of free capacity: each choice of a worker
+	// examines all workers. It exists to measure what the index saves.
 	FullScan bool
 }
 
-// Defaults returns the settings that the benchmarks use.
+// Defaults returns the settings that the tests and benchmarks use.
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 10 * clock.Second, SkewMillis: clock.Second, CheckpointMillis: 5 * clock.Second,
@@ -74,13 +76,13 @@
 	// of equal urgency, those with a higher Priority start first.
 	Urgent   bool
 	Priority int
-	// Declared is the size that the submitter states. It counts only until the
-	// sizer has observed enough runs of the class.
+	// Declared is the size that the submitter states. A sizer that learns uses it
+	// only until it has enough reports on the class.
 	Declared Size
 	// Submitted is the time of the submission.
 	Submitted clock.Millis
-	// CanCheckpoint says that the task can save its work and resume later;
-	// CanThrottle says that it can run with fewer processors.
+	// CanCheckpoint says that the task can save its work and resume later, and
+	// CanThrottle that it can run with fewer processors.
 	CanCheckpoint bool
 	CanThrottle   bool
 }
@@ -116,7 +118,7 @@
 // ActionKind is the kind of an Action.
 type ActionKind string
 
-// The actions.
+// The kinds of action; Platform describes them.
 const (
 	ActionStart      ActionKind = "start"
 	ActionRenew      ActionKind = "renew"
@@ -136,7 +138,7 @@
 	Attempt int
 	Size    Size
 	// CPUPercent is the share of its reserved processors that a throttled task
-	// keeps.
+	// keeps; 100 ends the throttling.
 	CPUPercent int
 	// LeaseEnd is the time at which the worker's lease expires.
 	LeaseEnd clock.Millis
@@ -153,7 +155,8 @@
 	// WaitCapacity means that no worker has enough free capacity.
 	WaitCapacity WaitReason = "room"
 	// WaitBudget means that no worker has enough free capacity for an urgent
-	// task, and disruption budgets do not allow freeing it.
+	// task and that none can be freed: disruption budgets do not allow it, or no
+	// usable worker runs enough tasks that may be preempted.
 	WaitBudget WaitReason = "disruption-budget"
 	// WaitReserving means that capacity is being freed for the task.
 	WaitReserving WaitReason = "room-being-made"
@@ -169,13 +172,13 @@
 	Unblock  string
 }
 
-// GivenUp is a task that will not be run again, and the reason.
+// GivenUp is a task that is not started again because it failed, and the reason.
 type GivenUp struct {
 	Task   TaskID
 	Reason string
 }
 
-// Quarantine is a worker that gets no new tasks, and the reason.
+// Quarantine is a worker that gets no new tasks for now, and the reason.
 type Quarantine struct {
 	Worker WorkerID
 	Reason string
