plan: say what the counts, costs, gaps and actions are

Undocumented until now and documented: the actions and their costs, the fields of Gap, the group of the pools without a spare pool. Inaccurate and put right: the package depends on more than the state, Cheapest does not compare moves, exchanges also take instances of no group, absenceSeconds holds for donors as well. Messages of failing tests name the quantities; the labels of two drawn values are now min spare and return delay.

--- a/core/state/plan/assign.go
+++ b/core/state/plan/assign.go
@@ -10,7 +10,7 @@
 )
 
 // draft is an assignment in progress. It changes the counts while it selects
-// moves and undoes these changes at the end.
+// moves, and undo reverts these changes at the end.
 type draft[P Policy] struct {
 	policy    P
 	settings  Settings
@@ -27,8 +27,9 @@
 	to   Pool
 }
 
-// shortPools lists the pools that lack instances, those that lack most first:
-// if there are not enough for all, the most affected pool is served first.
+// shortPools lists the spare pools, or the other pools, that lack instances:
+// those that lack most first, so that the most affected pool is served first if
+// there are not enough instances for all.
 func (d *draft[P]) shortPools(spare bool) []Pool {
 	pools := slices.DeleteFunc(slices.Sorted(maps.Keys(d.counts.required)), func(p Pool) bool {
 		return d.counts.spares[p] != spare || d.counts.surplus(p) >= 0
@@ -37,7 +38,7 @@
 	return pools
 }
 
-// fill moves instances to a pool until it lacks none or no source is left.
+// fill moves instances to a pool until it lacks none or no instance may be moved.
 func (d *draft[P]) fill(p Pool, reason string) {
 	for d.counts.surplus(p) < 0 {
 		source, ok := d.bestSource(p)
@@ -67,16 +68,16 @@
 	}
 }
 
-// bestSource returns the rack whose first instance the policy prefers for a
-// pool, from pools with a surplus and from the spare.
+// bestSource returns the rack whose first instance the policy prefers for a pool,
+// among the other pools with a surplus and the spare pools that may supply it.
 func (d *draft[P]) bestSource(to Pool) (rackKey, bool) {
 	return d.bestRack(to, func(p Pool) bool {
 		return p != to && (d.counts.surplus(p) > 0 || d.mayTakeSpare(p, to))
 	}, func(rackKey) bool { return true })
 }
 
-// bestRack returns the rack that the policy prefers among the allowed pools and
-// racks.
+// bestRack returns the rack whose first instance the policy prefers for a pool,
+// among the allowed racks of the allowed pools.
 func (d *draft[P]) bestRack(to Pool, poolAllowed func(Pool) bool, rackAllowed func(rackKey) bool) (best rackKey, found bool) {
 	var bestCandidate Candidate
 	for _, p := range slices.Sorted(maps.Keys(d.counts.rackOrder)) {
@@ -96,36 +97,37 @@
 	return best, found
 }
 
-// mayTakeSpare reports whether the spare pool may supply the pool: it is the
-// spare pool of one of the pool's customers, and more instances are left in it
-// than the unused reserve of its other customers. A customer's lost instances
-// count as the used part of its reserve.
+// mayTakeSpare reports whether a spare pool may supply a pool. It may if it is the
+// spare pool of one of the pool's customers and holds more instances than the
+// unused reserves of its other customers. A customer's lost instances count as
+// the used part of its reserve. With BorrowReserve, reserves of other customers
+// do not matter.
 func (d *draft[P]) mayTakeSpare(spare, to Pool) bool {
 	if !d.counts.spares[spare] || d.counts.spares[to] {
 		return false
 	}
-	own, others := false, 0
+	ownSpare, othersReserve := false, 0
 	for _, c := range d.contracts {
 		if c.SparePool != spare {
 			continue
 		}
 		if hasPool(c, to) {
-			own = true
+			ownSpare = true
 			continue
 		}
 		lost := 0
 		for _, p := range c.Pools {
 			lost += d.counts.lost[p.Pool]
 		}
-		others += max(0, c.Spare-lost)
+		othersReserve += max(0, c.Spare-lost)
 	}
 	if d.settings.BorrowReserve {
-		others = 0
+		othersReserve = 0
 	}
-	return own && d.counts.instances[spare] > others
+	return ownSpare && d.counts.instances[spare] > othersReserve
 }
 
-// addGaps adds the remaining gaps and the idle instances to the result.
+// addGaps adds the remaining gaps and the number of idle instances to the result.
 func (d *draft[P]) addGaps() {
 	c := d.counts
 	for _, p := range slices.Sorted(maps.Keys(c.required)) {
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -12,7 +12,7 @@
 
 // TestAssignUnderLosses guards against an instance in two pools, promised
 // instances that stay missing although there are enough, unneeded moves, and an
-// index that decides differently from the state it was filled from.
+// index that leads to another assignment than the state from which it was filled.
 func TestAssignUnderLosses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		contracts := drawContracts(t, 4)
@@ -48,8 +48,8 @@
 	})
 }
 
-// checkStable checks that a fleet without losses has all the instances that it
-// can have, and needs no further moves.
+// checkStable checks that in a fleet without losses no more instances are missing
+// than the fleet is too small by, and that it needs no further moves.
 func checkStable(t *rapid.T, h *fleetHarness, settings Settings) {
 	a := AssignFromIndex(Spread{}, settings, h.index, nil)
 	required := 0
@@ -63,12 +63,12 @@
 		}
 	}
 	if missing != max(0, required-len(h.state.Instances)) || len(a.Moves) > 0 {
-		t.Fatalf("%d short of %d with %d instances; moves %v", missing, required, len(h.state.Instances), a.Moves)
+		t.Fatalf("%d of %d required instances are missing in a fleet of %d; moves %v", missing, required, len(h.state.Instances), a.Moves)
 	}
 }
 
 // TestReserveOfOtherCustomersIsKept guards against a repair for one customer that
-// uses up the reserve of another.
+// uses spare instances reserved for another without BorrowReserve.
 func TestReserveOfOtherCustomersIsKept(t *testing.T) {
 	contracts := []model.Contract{
 		{Customer: "a", Spare: 1, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: 3}}},
@@ -86,10 +86,10 @@
 	assert.Equal(t, len(AssignFromIndex(Spread{}, Settings{BorrowReserve: true}, h.index, nil).Moves), 3)
 }
 
-// optimalOutcome searches every assignment of a tiny fleet for the one with the
+// optimalOutcome searches all assignments of a tiny fleet for the one with the
 // fewest missing instances, then the lowest exposure, then the fewest moves. It
-// returns these numbers; missing promised instances count a hundredfold,
-// missing spare instances once.
+// returns these three numbers. A missing promised instance counts 100, a missing
+// spare instance 1.
 func optimalOutcome(in Input, pools []Pool) (best [3]int) {
 	best = [3]int{1 << 30, 0, 0}
 	poolOf := make([]Pool, len(in.Instances))
@@ -143,8 +143,9 @@
 	return false
 }
 
-// outcomeAndOptimum runs a policy on a tiny fleet after a loss. It returns the
-// numbers of optimalOutcome that the policy reached and those of the optimum.
+// outcomeAndOptimum runs a policy on a tiny fleet after the loss of one instance. It
+// returns the outcome of the policy and that of optimalOutcome, as the same three
+// numbers.
 func outcomeAndOptimum[P Policy](policy P, seed uint64) (got, best [3]int) {
 	contracts := []model.Contract{
 		{Customer: "a", Covers: model.DomainZone, Spare: 1, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: 2}, {Pool: "pb", Instances: 1}}},
@@ -171,19 +172,19 @@
 	return [3]int{promised*100 + spare, exposed, len(a.Moves)}, optimalOutcome(in, []Pool{"new", "pa", "pb", "spare"})
 }
 
-// TestGapToOptimum guards against a policy that leaves more instances missing than
-// the optimum, or that reports a better result than it.
+// TestGapToOptimum guards against an assignment that leaves more instances missing
+// than the optimum, and against one that reports a better outcome than the optimum.
 func TestGapToOptimum(t *testing.T) {
 	for seed := range uint64(12) {
 		got, best := outcomeAndOptimum(Balance{}, seed)
-		assert.Equal(t, got[0], best[0], "seed %d: %v against %v", seed, got, best)
-		assert.Assert(t, !less(got, best), "seed %d: %v beats %v", seed, got, best)
+		assert.Equal(t, got[0], best[0], "seed %d: outcome %v, optimum %v", seed, got, best)
+		assert.Assert(t, !less(got, best), "seed %d: outcome %v is better than the optimum %v", seed, got, best)
 	}
 }
 
-// TestExposureIsWhatALossLeavesMissing guards against a reported exposure that
-// differs from the instances that are missing after a real loss of the failure
-// domain and its repair.
+// TestExposureIsWhatALossLeavesMissing guards against a computed exposure that
+// differs from the number of instances that are missing after the failure domain
+// is lost and the loss is repaired.
 func TestExposureIsWhatALossLeavesMissing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		promised, spare := rapid.IntRange(1, 6).Draw(t, "promised"), rapid.IntRange(0, 4).Draw(t, "spare")
@@ -208,7 +209,7 @@
 			got, _ := missingCounts(AssignFromIndex(Spread{}, Settings{}, h.index, nil))
 			h.setLost(in, false)
 			if got != want {
-				t.Fatalf("the loss of %s leaves %d missing; stated were %d", zone, got, want)
+				t.Fatalf("the loss of %s leaves %d promised instances missing; missingAfterLoss computed %d", zone, got, want)
 			}
 		}
 		worst, _ := h.index.counts.worstLoss(g, model.DomainZone)
@@ -216,7 +217,7 @@
 			worst -= max(0, h.index.counts.missingAfterLoss(g, model.DomainZone, zone)-worst) * 1000
 		}
 		if worst < 0 {
-			t.Fatal("a domain is worse than the stated worst one")
+			t.Fatal("the loss of a zone leaves more instances missing than worstLoss returns")
 		}
 	})
 }
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -9,16 +9,18 @@
 	"camphorridge/core/state/model"
 )
 
-// fleets are the pool sizes and the covered failure domain of two operators.
+// fleets are the pool sizes and the covered failure domains of two operators.
 var fleets = []struct {
 	name   string
 	covers model.FailureDomain
 	sizes  []int
 }{{"pruefkette", model.DomainRack, []int{8, 9, 8, 8, 9}}, {"pomar-alto", model.DomainZone, []int{8, 8, 9, 9, 8}}}
 
-// BenchmarkRepair reports moves, idle instances and the missing or exposed
-// instances after the first assignment, the loss of a rack, the loss of one
-// more instance right after it, and the return of all; means over 20 seeds.
+// BenchmarkRepair reports moves, idle instances, and missing and exposed instances
+// for four assignments: the first one, one after the loss of a rack, one after the
+// loss of one more instance, and one after the return of all. All but the
+// violations are means over 20 seeds. The moves of the first assignment do not
+// count; idle instances are the mean over the four assignments.
 func BenchmarkRepair(b *testing.B) {
 	for _, f := range fleets {
 		benchmarkRepair(b, f.name+"/first-name", FirstByName{}, f.covers, f.sizes)
@@ -89,20 +91,22 @@
 }
 
 // BenchmarkSurge simulates ten minutes of services that peak in turn, for each
-// chooser and the weights of both operators; means over 5 seeds.
+// chooser and the weights of both operators. It reports the waiting time, the
+// refused requests, the lent instances and the moves as means over 5 seeds, and
+// the sum of the violations.
 func BenchmarkSurge(b *testing.B) {
-	for _, u := range []struct {
+	for _, operator := range []struct {
 		name  string
 		w     Weights
 		sizes []int
 	}{{"pruefkette", RolloutFirst(), fleets[0].sizes}, {"pomar-alto", BufferFirst(), fleets[1].sizes}} {
-		benchmarkSurge(b, u.name+"/queue-only", QueueOnly{}, u.w, u.sizes)
-		benchmarkSurge(b, u.name+"/eager", Eager{}, u.w, u.sizes)
-		benchmarkSurge(b, u.name+"/cheapest", Cheapest{}, u.w, u.sizes)
-		u.w.ReturnDelayMillis = 0
-		benchmarkSurge(b, u.name+"/cheapest-no-hold", Cheapest{}, u.w, u.sizes)
-		u.w.ReturnDelayMillis, u.w.Donate = 10*clock.Second, true
-		benchmarkSurge(b, u.name+"/cheapest-donate", Cheapest{}, u.w, u.sizes)
+		benchmarkSurge(b, operator.name+"/queue-only", QueueOnly{}, operator.w, operator.sizes)
+		benchmarkSurge(b, operator.name+"/eager", Eager{}, operator.w, operator.sizes)
+		benchmarkSurge(b, operator.name+"/cheapest", Cheapest{}, operator.w, operator.sizes)
+		operator.w.ReturnDelayMillis = 0
+		benchmarkSurge(b, operator.name+"/cheapest-no-hold", Cheapest{}, operator.w, operator.sizes)
+		operator.w.ReturnDelayMillis, operator.w.Donate = 10*clock.Second, true
+		benchmarkSurge(b, operator.name+"/cheapest-donate", Cheapest{}, operator.w, operator.sizes)
 	}
 }
 
@@ -130,8 +134,8 @@
 	})
 }
 
-// BenchmarkPass reports the time and memory of one decision after 12 changes,
-// with the index and with counting from scratch.
+// BenchmarkPass reports the time and memory of one assignment after 12 changes, with
+// the index and with counting from scratch.
 func BenchmarkPass(b *testing.B) {
 	for _, size := range []struct{ n, zones, pools int }{{50, 3, 5}, {500, 3, 10}, {5100, 20, 37}} {
 		var c []model.Contract
@@ -149,6 +153,7 @@
 	}
 }
 
+// benchmarkPasses also reports the heap memory of the index, in KiB, as book-KiB.
 func benchmarkPasses(b *testing.B, h *fleetHarness, scan bool) {
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -6,8 +6,8 @@
 	"camphorridge/core/state/clock"
 )
 
-// costs estimates what each action costs until the peak is over and the
-// requests that queued during it are served.
+// costs estimates what each action for a pool costs until the peak is over and
+// the requests that queued during it are served.
 func (s *surge) costs(p Pool) Costs {
 	c := Costs{Lend: math.Inf(1), Move: math.Inf(1)}
 	remaining := s.remainingPeak(p)
@@ -33,7 +33,7 @@
 }
 
 // remainingPeak returns how long the peak is expected to last from now. A peak
-// that has lasted longer than usual is expected to last as long again.
+// that has lasted PeakMillis or longer is expected to last as long again.
 func (s *surge) remainingPeak(p Pool) clock.Millis {
 	age := clock.Millis(0)
 	if since := s.demand[p].HighSince; since > 0 {
@@ -45,15 +45,15 @@
 	return age
 }
 
-// absenceSeconds returns for how many seconds a lent instance is absent from
-// the spare pool.
+// absenceSeconds returns for how many seconds an instance that is lent or moved
+// now is absent from its pool, given the remaining duration of the peak.
 func (s *surge) absenceSeconds(remaining clock.Millis) float64 {
 	return float64(max(remaining, s.w.MoveMillis)+s.w.ReturnDelayMillis+s.w.MoveMillis) / 1000
 }
 
 // waitCost returns the cost of waiting and refused requests if n instances are
-// added after MoveMillis. The queue grows with the excess until the peak ends;
-// after that the pool's slots work it off.
+// added after MoveMillis. The queue grows or shrinks with the excess until the peak
+// ends; after that all slots of the pool serve the queue.
 func (s *surge) waitCost(p Pool, n int, remaining clock.Millis) float64 {
 	d, h := s.demand[p], s.holdings[p]
 	serviceSeconds := float64(d.ServiceMillis) / 1000
@@ -79,7 +79,7 @@
 	phase(excess-float64(n*h.SlotsPerInstance), float64(remaining-leadMillis)/1000)
 	if remaining <= leadMillis {
 		// The instances would arrive after the peak, when only the queue is
-		// left to serve, and are not counted.
+		// left to serve. They are not counted.
 		n = 0
 	}
 	slots := float64(max(1, (h.Instances+n)*h.SlotsPerInstance))
@@ -87,8 +87,8 @@
 	return waitSeconds*s.w.WaitCost + refused*s.w.RefuseCost
 }
 
-// donatable returns how many instances a donor can give up while its demand
-// stays within LowPercent of its remaining capacity.
+// donatable returns how many instances a pool can give up to others so that its
+// demand stays within LowPercent of its remaining capacity.
 func (s *surge) donatable(p Pool) int {
 	h := s.holdings[p]
 	d, ok := s.demand[p]
@@ -99,9 +99,9 @@
 	return max(0, min(h.Instances, h.Promised)-s.away[p]-max(needed, 1))
 }
 
-// donorRisk returns the expected cost of a peak at the donor while its
-// instances are absent. Services peak in turn, so the probability of a peak is
-// proportional to the time of absence.
+// donorRisk returns the expected cost of a peak at the donor p while n of its
+// instances are absent. Services peak in turn, so the probability of such a peak
+// is proportional to the time of absence.
 func (s *surge) donorRisk(p Pool, n int, remaining clock.Millis) float64 {
 	if s.w.PeakIntervalMillis <= 0 {
 		return 0
--- a/core/state/plan/counts.go
+++ b/core/state/plan/counts.go
@@ -22,33 +22,35 @@
 	// byDomain counts the instances of a pool by kind and name of failure
 	// domain.
 	byDomain map[poolDomain]map[string]int
-	// groupOf is the spare pool of each pool. A spare pool is in its own group,
-	// a pool without a contract in none.
+	// groupOf is the spare pool of each pool; it names the pool's group. A spare
+	// pool is in its own group, a pool without a contract in none. The pools of
+	// contracts without a spare pool form the group with the empty name.
 	groupOf map[Pool]Pool
 	groups  map[Pool]*group
 	// groupCounts counts the instances of each group by failure domain.
 	groupCounts map[groupDomain]int
-	// movable holds the instances that may be moved, by pool and rack, sorted
-	// by ID; an empty rack has no entry.
+	// movable holds the instances that may be moved, by pool and rack, sorted by
+	// ID; a rack without any has no entry.
 	movable map[rackKey][]model.Instance
 	// rackOrder lists the keys of movable for each pool, in ascending order.
 	rackOrder map[Pool][]rackKey
 	// spares contains the spare pools.
 	spares map[Pool]bool
 	// loading is set while a whole fleet is counted. The exposure is computed
-	// once at the end, because updating it for one instance can take time in
-	// proportion to the size of the instance's pool.
+	// once at the end, because updating it for one instance can take time
+	// proportional to the size of the instance's pool.
 	loading bool
 }
 
 // group is the set of pools that share a spare pool.
 type group struct {
+	// spare is empty in the group of pools without a spare pool.
 	spare Pool
 	// covers is the largest failure domain that contracts cover for each pool.
 	covers map[Pool]model.FailureDomain
 	pools  []Pool
-	// exposure tracks, by kind of failure domain, how many instances the loss
-	// of each domain takes away.
+	// exposure tracks, by kind of failure domain, the sum of the losses (see
+	// counts.loss) of the group's pools when a domain of that kind is lost.
 	exposure [3]maxTracker
 }
 
@@ -73,7 +75,7 @@
 	rack model.Rack
 }
 
-// compare orders by pool, zone and rack.
+// compare orders rack keys by pool, zone and rack.
 func (r rackKey) compare(other rackKey) int {
 	return cmp.Or(cmp.Compare(r.pool, other.pool), cmp.Compare(r.zone, other.zone), cmp.Compare(r.rack, other.rack))
 }
@@ -82,7 +84,7 @@
 // instance.
 var domainKinds = [...]model.FailureDomain{model.DomainRack, model.DomainZone}
 
-// domainName returns the name of the instance's failure domain of a kind.
+// domainName returns the name of the instance's failure domain of the given kind.
 func domainName(i model.Instance, kind model.FailureDomain) string {
 	if kind == model.DomainZone {
 		return string(i.Zone)
@@ -107,7 +109,8 @@
 }
 
 // addContracts sets the required instances and the groups. A pool of several
-// customers belongs to the group of the first of them that has a spare pool.
+// customers belongs to the group of the first customer, by name, that has a spare
+// pool.
 func (c *counts) addContracts(contracts []model.Contract) {
 	sorted := slices.Clone(contracts)
 	slices.SortFunc(sorted, func(a, b model.Contract) int { return cmp.Compare(a.Customer, b.Customer) })
@@ -136,7 +139,9 @@
 	}
 }
 
-// update adds an instance to the counts (n is 1) or removes it (n is -1).
+// update adds an instance to the counts if n is 1, and removes it if n is -1. A
+// retired instance is not counted, and a lost one only in lost. An instance that
+// is being released counts for the pool to which it moves.
 func (c *counts) update(i model.Instance, lost bool, n int) {
 	switch {
 	case i.Phase == model.PhaseRetired:
@@ -191,14 +196,16 @@
 	}
 }
 
-// addInstances adds n instances in the failure domains of i to the pool.
+// addInstances adds n to the number of instances of a pool, in total and in the
+// failure domains of i.
 func (c *counts) addInstances(p Pool, i model.Instance, n int) {
 	name, ok := c.groupOf[p]
 	if !ok || c.loading {
 		c.addToDomains(p, i, n)
 		c.instances[p] += n
 	} else if g := c.groups[name]; p == g.spare || max(0, c.surplus(p)) == max(0, c.surplus(p)+n) {
-		// The losses of the other failure domains change only with the surplus.
+		// The change affects no surplus that loss uses, so only the losses in
+		// the failure domains of i change.
 		for _, k := range domainKinds {
 			g.exposure[k].add(domainName(i, k), -c.loss(g, p, k, domainName(i, k)))
 		}
@@ -227,22 +234,23 @@
 	c.addExposure(p, 1)
 }
 
-// addToDomains changes only the counts by failure domain.
+// addToDomains adds n to the pool's instances in the failure domains of i, and
+// changes no other counts.
 func (c *counts) addToDomains(p Pool, i model.Instance, n int) {
 	for _, k := range domainKinds {
-		s := poolDomain{p, k}
-		if c.byDomain[s] == nil {
-			c.byDomain[s] = map[string]int{}
+		key := poolDomain{p, k}
+		if c.byDomain[key] == nil {
+			c.byDomain[key] = map[string]int{}
 		}
-		c.byDomain[s][domainName(i, k)] += n
-		if c.byDomain[s][domainName(i, k)] == 0 {
-			delete(c.byDomain[s], domainName(i, k))
+		c.byDomain[key][domainName(i, k)] += n
+		if c.byDomain[key][domainName(i, k)] == 0 {
+			delete(c.byDomain[key], domainName(i, k))
 		}
 	}
 }
 
-// addExposure adds the pool's losses to the exposure of its group, or subtracts
-// them with sign -1.
+// addExposure adds the pool's losses to the exposure of its group if sign is 1,
+// and subtracts them if sign is -1.
 func (c *counts) addExposure(p Pool, sign int) {
 	name, ok := c.groupOf[p]
 	if !ok || c.loading {
@@ -256,9 +264,9 @@
 	}
 }
 
-// loss returns how many instances the loss of a failure domain takes from a
-// pool beyond the pool's surplus. All instances of a spare pool count because a
-// lost spare instance replaces nothing.
+// loss returns how many instances the loss of a failure domain takes from a pool
+// beyond the pool's surplus; 0 if no contract covers such a loss. All instances of
+// a spare pool count because a lost spare instance can replace no other.
 func (c *counts) loss(g *group, p Pool, kind model.FailureDomain, name string) int {
 	n := c.byDomain[poolDomain{p, kind}][name]
 	switch {
@@ -275,8 +283,8 @@
 func (c *counts) surplus(p Pool) int { return c.instances[p] - c.required[p] }
 
 // missingAfterLoss returns how many promised instances of the group are missing
-// after the loss of a failure domain, once the remaining spare has replaced
-// what it can.
+// after the loss of a failure domain, once the remaining spare instances have
+// replaced those that they can.
 func (c *counts) missingAfterLoss(g *group, kind model.FailureDomain, name string) int {
 	n := c.loss(g, g.spare, kind, name) - c.instances[g.spare]
 	if g.spare == "" {
@@ -290,8 +298,8 @@
 	return max(0, n)
 }
 
-// worstLoss returns the failure domain whose loss leaves the most instances
-// missing, and their number.
+// worstLoss returns the name of the failure domain of the given kind whose loss
+// leaves the most promised instances missing, and their number.
 func (c *counts) worstLoss(g *group, kind model.FailureDomain) (n int, name string) {
 	top, name := g.exposure[kind].max()
 	if g.spare != "" {
--- a/core/state/plan/exchange.go
+++ b/core/state/plan/exchange.go
@@ -8,9 +8,9 @@
 	"camphorridge/core/state/model"
 )
 
-// exchange moves instances between pools while that lowers the exposure and
-// MaxExchangeMoves allows it. A single move from a surplus is tried before an
-// exchange of two instances.
+// exchange moves instances between pools while that lowers the exposure to losses
+// and MaxExchangeMoves allows it. A single move of a surplus instance is tried
+// before an exchange of two instances.
 func (d *draft[P]) exchange() {
 	for used := 0; used < d.settings.MaxExchangeMoves; {
 		g, kind, name := d.mostExposed()
@@ -29,8 +29,8 @@
 	}
 }
 
-// mostExposed returns the group and the failure domain with the highest
-// exposure; the group is nil if no loss would leave instances missing.
+// mostExposed returns the group and the failure domain for which worstLoss is
+// highest; the group is nil if no loss would leave instances missing.
 func (d *draft[P]) mostExposed() (g *group, kind model.FailureDomain, name string) {
 	worst := 0
 	for _, spare := range slices.Sorted(maps.Keys(d.counts.groups)) {
@@ -58,10 +58,11 @@
 	return ok && own == g.spare
 }
 
-// moveIn moves a surplus instance of another group, or of no group, from
+// moveIn moves a surplus instance of another group, or of no group, that lies
 // outside the failure domain to the group's spare pool. Without a spare pool it
 // goes to the group's pool with the most instances in the domain. The move is
-// undone unless it lowers the total exposure of all groups.
+// undone unless it lowers the total exposure. moveIn reports whether it made a
+// move.
 func (d *draft[P]) moveIn(g *group, kind model.FailureDomain, name, reason string) bool {
 	to := g.spare
 	if to == "" {
@@ -90,8 +91,8 @@
 	return false
 }
 
-// totalExposure returns the sum of the highest exposures of all groups and
-// kinds of failure domain.
+// totalExposure returns the sum of the worst losses over all groups and kinds of
+// failure domain.
 func (d *draft[P]) totalExposure() int {
 	sum := 0
 	for _, g := range d.counts.groups {
@@ -103,9 +104,10 @@
 	return sum
 }
 
-// swap exchanges an instance of the group inside the failure domain for one of
-// another group outside it. It selects the pair that lowers the exposure most,
-// and the first among equals.
+// swap exchanges an instance of the group inside the failure domain for an
+// instance outside it that is not in the group. It selects the pair that lowers
+// the exposure most, the first one among equals, and reports whether there is one
+// that lowers it.
 func (d *draft[P]) swap(g *group, kind model.FailureDomain, name, reason string) bool {
 	var incoming, outgoing rackKey
 	gain := 0
@@ -132,8 +134,9 @@
 	return true
 }
 
-// bestPartner returns the rack of another group outside the failure domain
-// whose exchange with a lowers the exposure most.
+// bestPartner returns the rack outside the group and the failure domain whose
+// exchange with rack a lowers the exposure most, and by how much. gain is 0 if
+// there is none.
 func (d *draft[P]) bestPartner(g *group, a rackKey, kind model.FailureDomain, name string, pools []Pool) (best rackKey, gain int) {
 	for _, p := range pools {
 		if d.inGroup(g, p) {
@@ -151,9 +154,9 @@
 	return best, gain
 }
 
-// gain returns by how much the exchange of an instance of a with one of b
-// lowers the exposure of both groups. Only the failure domains of the two racks
-// change, because each pool keeps its number of instances.
+// gain returns by how much the exchange of the first movable instances of racks a
+// and b lowers the exposure of both groups. Only the failure domains of the two
+// racks have to be compared, because each pool keeps its number of instances.
 func (d *draft[P]) gain(g *group, a, b rackKey) int {
 	instanceA, instanceB := d.counts.movable[a][0], d.counts.movable[b][0]
 	var other *group
@@ -161,11 +164,11 @@
 		other = d.counts.groups[name]
 	}
 	before := d.exposureAround(g, a, b) + d.exposureAround(other, a, b)
-	applyExchange := func(n int) {
-		d.counts.addToDomains(a.pool, instanceA, -n)
-		d.counts.addToDomains(b.pool, instanceA, n)
-		d.counts.addToDomains(b.pool, instanceB, -n)
-		d.counts.addToDomains(a.pool, instanceB, n)
+	applyExchange := func(sign int) {
+		d.counts.addToDomains(a.pool, instanceA, -sign)
+		d.counts.addToDomains(b.pool, instanceA, sign)
+		d.counts.addToDomains(b.pool, instanceB, -sign)
+		d.counts.addToDomains(a.pool, instanceB, sign)
 	}
 	applyExchange(1)
 	after := d.exposureAround(g, a, b) + d.exposureAround(other, a, b)
@@ -173,8 +176,8 @@
 	return before - after
 }
 
-// exposureAround returns the sum of the instances that would be missing after
-// the loss of each failure domain of the two racks.
+// exposureAround returns how many instances of a group would be missing after the
+// loss of a failure domain, summed over the racks and zones of a and b.
 func (d *draft[P]) exposureAround(g *group, a, b rackKey) int {
 	if g == nil {
 		return 0
--- a/core/state/plan/harness_test.go
+++ b/core/state/plan/harness_test.go
@@ -40,9 +40,9 @@
 	return h
 }
 
-// userContracts returns one contract that promises a pool of each of the sizes and
-// has spare instances in a spare pool. The benchmarks use it with five pools, as in
-// the contracts of both operators.
+// userContracts returns one contract that promises one pool of each size and
+// reserves spare instances in a spare pool. The benchmarks use it with five pools,
+// as in the contracts of both operators.
 func userContracts(covers model.FailureDomain, spare int, sizes ...int) []model.Contract {
 	c := model.Contract{Customer: "user", Covers: covers, Spare: spare, SparePool: "spare"}
 	for k, n := range sizes {
@@ -79,8 +79,8 @@
 	return in
 }
 
-// startMoves starts the moves, and finishMoves completes those that were
-// started. Each returns the number of steps that the state machine refused.
+// startMoves starts moves. It returns the number of moves from another pool or
+// phase than expected plus the number of steps that the state machine refused.
 func (h *fleetHarness) startMoves(moves []Move) (refused int) {
 	for _, m := range moves {
 		i := h.state.Instances[m.Instance]
@@ -96,6 +96,8 @@
 	return refused
 }
 
+// finishMoves completes the moves that were started, except those of lost
+// instances. It returns the number of steps that the state machine refused.
 func (h *fleetHarness) finishMoves() (refused int) {
 	for _, id := range h.instanceIDs() {
 		i := h.state.Instances[id]
@@ -134,8 +136,8 @@
 	return promised, exposed
 }
 
-// drawContracts draws the contracts of one or two customers with up to
-// maxInstances in each pool.
+// drawContracts draws the contracts of one or two customers, each of which promises
+// up to maxInstances in each of its pools.
 func drawContracts(t *rapid.T, maxInstances int) []model.Contract {
 	var out []model.Contract
 	for k := range rapid.IntRange(1, 2).Draw(t, "customers") {
--- a/core/state/plan/index.go
+++ b/core/state/plan/index.go
@@ -2,9 +2,10 @@
 
 import "camphorridge/core/state/model"
 
-// FleetIndex keeps the counts from which assignments are made. It is an index
-// of the state: a new FleetIndex filled from the same state leads to the same
-// decisions. It is not safe for concurrent use.
+// FleetIndex keeps the counts from which assignments are made, so that they are
+// not computed again for each assignment. It holds nothing but the state: a new
+// FleetIndex filled with the same state leads to the same assignments. It is not
+// safe for concurrent use.
 type FleetIndex struct {
 	contracts []model.Contract
 	instances map[model.InstanceID]countedInstance
@@ -22,8 +23,8 @@
 	return &FleetIndex{contracts: contracts, instances: map[model.InstanceID]countedInstance{}, counts: newCounts(contracts)}
 }
 
-// SetInstance sets the state of an instance. lost says that it has an unplanned
-// outage.
+// SetInstance adds an instance or replaces its state. lost says that it has an
+// unplanned outage.
 func (x *FleetIndex) SetInstance(i model.Instance, lost bool) {
 	if old, ok := x.instances[i.ID]; ok {
 		x.counts.update(old.inst, old.lost, -1)
@@ -43,8 +44,8 @@
 	})
 }
 
-// bulkLoad calls f, which counts many instances, and computes the exposure once
-// afterwards.
+// bulkLoad calls f, which counts all instances, and computes the exposure once
+// after that. No instance may have been counted before.
 func (x *FleetIndex) bulkLoad(f func()) {
 	x.counts.loading = true
 	f()
@@ -54,7 +55,7 @@
 	}
 }
 
-// Assign makes an assignment from a whole state, without an index.
+// Assign makes the assignment for a whole state, without an existing index.
 func Assign[P Policy](policy P, settings Settings, in Input) Assignment {
 	index := NewFleetIndex(in.Contracts)
 	index.bulkLoad(func() {
@@ -65,11 +66,11 @@
 	return AssignFromIndex(policy, settings, index, in.Extras)
 }
 
-// AssignFromIndex returns the moves that fill every pool, most urgent first: promised
-// instances before the spare, and last the exchanges for a better spread.
-// Instances that are being released or maintained stay where they are. The
-// index is unchanged afterwards; the caller reports the moves through
-// SetInstance.
+// AssignFromIndex makes an assignment: first the moves that provide promised
+// instances, then those that fill the spare pools, and last, if the policy
+// exchanges, those that only lower the exposure to losses. Only instances in
+// PhaseServing are moved. The index is the same afterwards as before; the caller
+// reports the moves that it starts through SetInstance.
 func AssignFromIndex[P Policy](policy P, settings Settings, index *FleetIndex, extras []Extra) Assignment {
 	d := &draft[P]{policy: policy, settings: settings, contracts: index.contracts, counts: index.counts}
 	for _, e := range extras {
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -7,13 +7,13 @@
 	// BorrowReserve lets a customer's repair use spare instances that are
 	// reserved for other customers of the same spare pool.
 	BorrowReserve bool
-	// MaxExchangeMoves is the most moves of one decision that only lower the
-	// exposure to a loss. Each of these moves is a disruption of its own.
+	// MaxExchangeMoves is the largest number of moves in one assignment that
+	// only lower the exposure to losses. Each of these moves is a disruption.
 	MaxExchangeMoves int
 }
 
-// Extra is a request for Count instances more than contracts promise to Pool,
-// at the expense of the pool From.
+// Extra grants Pool Count instances more than contracts promise to it, and lowers
+// the number that the pool From should have by as many.
 type Extra struct {
 	Pool  Pool
 	From  Pool
@@ -57,13 +57,17 @@
 // Gap is a shortfall that remains once the moves are done.
 type Gap struct {
 	Kind GapKind
+	// Pool is the pool that lacks instances; for a GapExposed it is the spare pool
+	// of the exposed pools, empty if they have none.
 	Pool Pool
-	// Subject is the failure domain of a GapExposed; Need is then the number of
-	// instances that its loss would leave missing.
+	// Subject is the kind and name of the failure domain of a GapExposed.
 	Subject string
-	Need    int
-	Have    int
-	Reason  string
+	// Need is the number of instances that the pool should have, and Have the
+	// number that it has. For a GapExposed, Need is the number of instances that
+	// the loss of the failure domain would leave missing, and Have is 0.
+	Need   int
+	Have   int
+	Reason string
 }
 
 // Assignment is the result of Assign and AssignFromIndex.
--- a/core/state/plan/maxtracker.go
+++ b/core/state/plan/maxtracker.go
@@ -1,15 +1,16 @@
 package plan
 
-// maxTracker keeps a number for each name and finds the highest one. The
-// numbers are counts of instances, so one bucket for each number is cheap.
+// maxTracker keeps a number for each name and finds the highest one. The numbers
+// are counts of instances and therefore small, so that one bucket for each
+// possible number is cheap.
 type maxTracker struct {
 	values map[string]int
-	// namesByValue holds the names by their number; names with the number 0 are
-	// not kept.
+	// namesByValue[n] holds the names with the number n. Names with the number 0
+	// are not kept.
 	namesByValue []map[string]bool
 }
 
-// add changes the number of a name by n.
+// add adds n to the number of a name.
 func (t *maxTracker) add(name string, n int) {
 	if n == 0 {
 		return
--- a/core/state/plan/policy.go
+++ b/core/state/plan/policy.go
@@ -9,23 +9,24 @@
 // Candidate is an instance that could fill a pool.
 type Candidate struct {
 	Instance model.Instance
-	// FromSpare is set if the instance would come from the spare pool.
+	// FromSpare is set if the instance would come from a spare pool.
 	FromSpare bool
-	// GroupZone and GroupRack are the numbers of instances of all pools with
-	// the same spare pool in the candidate's zone and rack. PoolZone and
-	// PoolRack count only those of the pool to be filled.
+	// GroupZone and GroupRack are the numbers of instances in the candidate's
+	// zone and rack that belong to the group of the pool to be filled: the pools
+	// with the same spare pool. PoolZone and PoolRack count only the instances
+	// of the pool to be filled.
 	GroupZone int
 	GroupRack int
 	PoolZone  int
 	PoolRack  int
 }
 
-// Policy determines which instance fills a pool, and whether instances are
-// exchanged only to lower the exposure to a loss.
+// Policy determines which instance fills a pool, and whether instances are also
+// exchanged between pools only to lower the exposure to losses.
 type Policy interface {
 	// Compare returns a negative number if a is preferred to b.
 	Compare(a, b Candidate) int
-	// Exchange reports whether to search for exchanges.
+	// Exchange reports whether instances are exchanged only to lower the exposure.
 	Exchange() bool
 }
 
@@ -41,13 +42,13 @@
 // Exchange returns false.
 func (FirstByName) Exchange() bool { return false }
 
-// Spread fills a pool from the zones and racks that contain the fewest
-// instances of the pools that share a spare pool, so that one loss affects as
-// few as possible. It moves an instance only to a pool that lacks one.
+// Spread fills a pool from the zones and racks that contain the fewest instances
+// of the pool's group, so that one loss affects as few of them as possible. It
+// moves an instance only to a pool that lacks one.
 type Spread struct{}
 
-// Compare prefers surplus to spare instances, then the zone and rack with fewer
-// instances.
+// Compare prefers surplus to spare instances, then the zone with fewer instances,
+// then the rack with fewer instances.
 func (Spread) Compare(a, b Candidate) int {
 	return cmp.Or(
 		bySpare(a, b),
@@ -62,8 +63,8 @@
 // Exchange returns false.
 func (Spread) Exchange() bool { return false }
 
-// Balance fills like Spread, and exchanges instances between pools while that
-// lowers the exposure. It needs moves that Spread does not make.
+// Balance fills pools like Spread and also exchanges instances between pools while
+// that lowers the exposure, which takes moves that Spread does not make.
 type Balance struct{ Spread }
 
 // Exchange returns true.
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -28,24 +28,25 @@
 	MoveMillis clock.Millis
 	// PeakMillis is how long a peak usually lasts; at least 1.
 	PeakMillis clock.Millis
-	// PeakIntervalMillis is the time from one peak of a service to the next.
+	// PeakIntervalMillis is the time from one peak of a service to the next; 0
+	// means that donors are assumed to have no peaks.
 	PeakIntervalMillis clock.Millis
 	// ReturnDelayMillis is how long demand must stay low before instances are
 	// returned.
 	ReturnDelayMillis clock.Millis
-	// LowPercent is the demand, as a share of the promised capacity, below
-	// which demand counts as low. It is below 100, so that a demand close to
-	// the capacity does not move instances back and forth.
+	// LowPercent is the share of the promised capacity below which demand counts
+	// as low. It is below 100, so that a demand close to the capacity does not
+	// move instances back and forth.
 	LowPercent int
-	// MinSpare is the number of instances that each spare pool keeps for
-	// itself: the loss that must stay covered during a surge.
+	// MinSpare is the number of instances that each spare pool never lends: the
+	// number of lost instances that can still be replaced during a surge.
 	MinSpare int
-	// Donate lets a pool give up promised instances to another pool with the
-	// same spare pool while its own demand is low.
+	// Donate lets a pool give promised instances to another pool with the same
+	// spare pool while its own demand is low.
 	Donate bool
 }
 
-// Demand is the demand of one pool's callers.
+// Demand is the demand for one pool.
 type Demand struct {
 	Pool Pool
 	// NeededSlots is the number of slots that would be busy if all requests
@@ -57,13 +58,14 @@
 	// can be queued; 0 means that there is no limit.
 	Waiting    float64
 	QueueLimit float64
-	// HighSince is when demand rose above the pool's slots, LowSince when it
-	// fell below LowPercent; 0 while that is not the case.
+	// HighSince is the time since which demand has exceeded the pool's slots, and
+	// LowSince the time since which it has been below LowPercent; 0 if it is not.
 	HighSince clock.Millis
 	LowSince  clock.Millis
 }
 
-// Holding is what a pool has and what contracts promise to it.
+// Holding is the number of instances that a pool has and that contracts promise to
+// it.
 type Holding struct {
 	Pool Pool
 	// Spare is the pool's spare pool; empty if it has none, and for spare
@@ -72,8 +74,8 @@
 	// Instances is the number of instances that serve the pool or are moving to
 	// it.
 	Instances int
-	// Promised is the sum over all contracts; for a spare pool it is the
-	// reserve.
+	// Promised is the number of instances that all contracts together promise to
+	// the pool; for a spare pool it is the sum of the reserves.
 	Promised int
 	// SlotsPerInstance is the number of requests that one instance runs at
 	// once; at least 1.
@@ -83,22 +85,33 @@
 // Action is the reaction to a pool's demand.
 type Action string
 
-// The actions.
+// The actions. The first three are for pools whose demand exceeds their slots, the
+// others for pools whose demand does not.
 const (
-	ActionNone   Action = "none"
-	ActionQueue  Action = "queue"
-	ActionLend   Action = "lend"
-	ActionMove   Action = "move"
-	ActionKeep   Action = "keep"
+	// ActionQueue lets requests wait.
+	ActionQueue Action = "queue"
+	// ActionLend adds instances of the spare pool.
+	ActionLend Action = "lend"
+	// ActionMove adds promised instances of another pool, the donor.
+	ActionMove Action = "move"
+	// ActionNone means that the pool has no extra instances.
+	ActionNone Action = "none"
+	// ActionKeep keeps the extra instances.
+	ActionKeep Action = "keep"
+	// ActionReturn gives back some or all of the extra instances.
 	ActionReturn Action = "return"
 )
 
-// Costs are the expected costs of the actions for one pool. An action that is
-// not possible has infinite cost and a count of 0.
+// Costs are the expected costs of the actions for one pool. An action that is not
+// possible has infinite cost and a count of 0.
 type Costs struct {
-	Queue     float64
+	Queue float64
+	// LendCount is the number of instances that costs least to lend, and Lend
+	// the cost with this number.
 	Lend      float64
 	LendCount int
+	// MoveCount and Donor are the number of instances and the pool that cost
+	// least to move them from, and Move the cost with these.
 	Move      float64
 	MoveCount int
 	Donor     Pool
@@ -108,6 +121,7 @@
 type Choice struct {
 	Pool   Pool
 	Action Action
+	// Costs is set only if the pool's demand exceeds its slots.
 	Costs  Costs
 	Reason string
 }
@@ -117,8 +131,8 @@
 	Choose(Costs) Action
 }
 
-// Cheapest selects the action with the lowest expected cost, and among equals
-// the one with fewer moves.
+// Cheapest selects the action with the lowest expected cost. Among equals it
+// prefers queueing to lending, and lending to moving.
 type Cheapest struct{}
 
 // Choose compares the costs.
@@ -137,7 +151,7 @@
 // nothing can be lent.
 type Eager struct{}
 
-// Choose considers only which actions are possible.
+// Choose considers only which actions are possible, not their costs.
 func (Eager) Choose(c Costs) Action {
 	switch {
 	case c.LendCount > 0:
@@ -154,9 +168,10 @@
 // Choose returns ActionQueue.
 func (QueueOnly) Choose(Costs) Action { return ActionQueue }
 
-// Surge decides for every pool with a demand, the highest excess first, and
-// returns the extras for Assign. Existing extras follow from what pools have
-// beyond their promise, so no earlier decision has to be stored.
+// Surge makes a choice for every pool with a demand, the highest excess first, and
+// returns all extra instances that pools get or keep, for AssignFromIndex. Those
+// that pools have already are derived from what they have beyond their promise, so
+// no earlier choice has to be stored.
 func Surge[C Chooser](chooser C, w Weights, holdings []Holding, demands []Demand, now clock.Millis) ([]Choice, []Extra) {
 	s := &surge{w: w, now: now, holdings: map[Pool]Holding{}, demand: map[Pool]Demand{}, away: map[Pool]int{}, pendingAway: map[Pool]int{}, extra: map[[2]Pool]int{}}
 	for _, h := range holdings {
@@ -179,8 +194,8 @@
 			out = append(out, chooseAction(chooser, s, p))
 		}
 	}
-	// Pools whose demand is low keep only what no other pool needs now, so
-	// that extras go directly to the next pool when services peak in turn.
+	// Pools whose demand is low keep only what no other pool needs now, so that
+	// extra instances go directly to the next pool when services peak in turn.
 	for _, p := range order {
 		if s.demand[p].LowSince != 0 {
 			s.keep(p)
@@ -205,14 +220,13 @@
 	now      clock.Millis
 	holdings map[Pool]Holding
 	demand   map[Pool]Demand
-	// away counts the instances that each pool gives to others, as decided so
+	// away counts the instances of each pool that are granted to other pools so
 	// far.
 	away map[Pool]int
-	// pendingAway is the part of away whose instances have not left the pool
-	// yet.
+	// pendingAway is the part of away that has not left the pool yet.
 	pendingAway map[Pool]int
-	// extra counts the granted instances by receiving and giving pool, in this
-	// order.
+	// extra counts the granted instances; its keys are the receiving and the
+	// giving pool, in this order.
 	extra map[[2]Pool]int
 }
 
@@ -222,22 +236,22 @@
 	return s.demand[p].NeededSlots - float64(h.Instances*h.SlotsPerInstance)
 }
 
-// grant gives n instances of a pool to another.
+// grant grants n instances of the pool from to the pool to.
 func (s *surge) grant(to, from Pool, n int) {
 	s.extra[[2]Pool{to, from}] += n
 	s.away[from] += n
 }
 
-// keep lets a pool keep the extras that it has, unless its demand has been low
-// for long enough or its spare pool needs them back.
+// keep grants a pool the extra instances that it already has, unless its demand has
+// been low for long enough or their pools need them back.
 func (s *surge) keep(p Pool) {
 	h := s.holdings[p]
 	extra := h.Instances - h.Promised
 	if extra <= 0 || s.demandSettled(p) {
 		return
 	}
-	// The extras came from the spare pool as far as it is short of its reserve,
-	// and from donors beyond that.
+	// Extra instances are taken to come from the spare pool, up to the number
+	// that it lacks, and the others from donors.
 	spare := s.holdings[h.Spare]
 	lent := max(0, min(extra, spare.Promised-spare.Instances-s.away[h.Spare], s.lendable(h.Spare)))
 	if h.Spare != "" && lent > 0 {
@@ -253,9 +267,10 @@
 	}
 }
 
-// lendable returns how many more instances of a spare pool may be away: those
-// that it has and those that pools have beyond their promise, minus what pools
-// lack and what the spare pool keeps.
+// lendable returns how many more instances of a spare pool may be granted. All
+// instances of the spare pool count, and those that the pools of its group have
+// beyond their promise; what these pools lack, what is already granted and
+// MinSpare are subtracted.
 func (s *surge) lendable(spare Pool) int {
 	if spare == "" {
 		return 0
@@ -269,9 +284,9 @@
 	return max(0, n)
 }
 
-// available returns how many instances can be lent from a spare pool now: those
-// in it, and those that pools have beyond their promise while their demand is
-// low.
+// available returns how many instances can be lent from a spare pool at once: those
+// in it that are not granted to another pool yet, and those that pools with low
+// demand have beyond their promise.
 func (s *surge) available(spare Pool) int {
 	n := s.holdings[spare].Instances - s.pendingAway[spare]
 	for p, h := range s.holdings {
@@ -304,8 +319,8 @@
 	return out
 }
 
-// chooseWithinCapacity returns the choice for a pool whose demand fits its
-// slots.
+// chooseWithinCapacity returns the choice for a pool whose demand does not exceed
+// its slots.
 func (s *surge) chooseWithinCapacity(p Pool) Choice {
 	c := Choice{Pool: p, Action: ActionNone}
 	extra := s.holdings[p].Instances - s.holdings[p].Promised
--- a/core/state/plan/surge_test.go
+++ b/core/state/plan/surge_test.go
@@ -26,8 +26,8 @@
 	violations int
 }
 
-// newSurgeHarness returns a settled fleet whose five pools have the given
-// sizes.
+// newSurgeHarness returns a fleet whose five pools have the given sizes and are
+// filled.
 func newSurgeHarness(seed uint64, sizes ...int) *surgeHarness {
 	h := &surgeHarness{fleet: newFleetHarness(seed, 50, 3, userContracts(model.DomainRack, 8, sizes...)), now: clock.Hour}
 	h.fleet.startMoves(AssignFromIndex(Spread{}, Settings{}, h.fleet.index, nil).Moves)
@@ -105,30 +105,30 @@
 	}
 }
 
-// TestSurgeKeepsPromisesAndSettles guards against a surge that takes promised
-// instances or the minimum spare, and against instances that move back and forth
-// within one peak.
+// TestSurgeKeepsPromisesAndSettles guards against extra instances that are taken
+// from the promised ones or from MinSpare, and against instances that move back
+// and forth within one peak.
 func TestSurgeKeepsPromisesAndSettles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newSurgeHarness(rapid.Uint64().Draw(t, "seed"), 8, 9, 8, 8, 9)
 		weights := RolloutFirst()
-		weights.MinSpare = rapid.IntRange(0, 8).Draw(t, "keep")
-		weights.ReturnDelayMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "hold")) * clock.Second
+		weights.MinSpare = rapid.IntRange(0, 8).Draw(t, "min spare")
+		weights.ReturnDelayMillis = clock.Millis(rapid.IntRange(0, 30).Draw(t, "return delay")) * clock.Second
 		minutes := 3
 		for range 60 * minutes {
 			advanceSecond(h, Eager{}, weights)
 		}
 		if h.violations > 0 {
-			t.Fatalf("%d violations", h.violations)
+			t.Fatalf("%d violations of promises, MinSpare or the state machine", h.violations)
 		}
 		if maxMoves := 2 * (8 - weights.MinSpare) * 5 * (minutes + 1); h.fleet.moves > maxMoves {
-			t.Fatalf("%d moves in %d minutes; one loan of each instance for each peak is %d", h.fleet.moves, minutes, maxMoves)
+			t.Fatalf("%d moves in %d minutes; lending and returning each spare instance once for each peak takes %d", h.fleet.moves, minutes, maxMoves)
 		}
 	})
 }
 
-// TestWeightsDetermineAction guards against a decision that does not follow the
-// weights, and against a choice without costs and a reason.
+// TestWeightsDetermineAction guards against a choice that does not follow the
+// weights, and against one without costs or a reason.
 func TestWeightsDetermineAction(t *testing.T) {
 	holdings := []Holding{{"p", "spare", 8, 8, 8}, {"spare", "", 8, 8, 8}}
 	demand := Demand{Pool: "p", NeededSlots: 96, ServiceMillis: 200, QueueLimit: 2000, HighSince: 1000}
@@ -137,17 +137,17 @@
 		weights Weights
 		action  Action
 		extras  int
-	}{{"time first", RolloutFirst(), ActionLend, 1}, {"buffer first", BufferFirst(), ActionQueue, 0}} {
+	}{{"rollout first", RolloutFirst(), ActionLend, 1}, {"buffer first", BufferFirst(), ActionQueue, 0}} {
 		choices, extras := Surge(Cheapest{}, c.weights, holdings, []Demand{demand}, 2000)
 		assert.Equal(t, choices[0].Action, c.action, "%s: %v", c.name, choices[0])
 		assert.Equal(t, len(extras), c.extras)
 		assert.Assert(t, choices[0].Costs.Queue > 0 && choices[0].Reason != "")
 	}
-	// For a peak that lasts far longer than usual, lending pays off with
-	// either set of weights.
+	// For a peak that lasts far longer than usual, lending costs less than
+	// queueing even with the weights that rarely lend.
 	choices, _ := Surge(Cheapest{}, BufferFirst(), holdings, []Demand{demand}, 10*clock.Minute)
 	assert.Equal(t, choices[0].Action, ActionLend)
-	// Extras stay until demand has been low for long enough.
+	// Extra instances stay until demand has been low for ReturnDelayMillis.
 	holdings[0].Instances, holdings[1].Instances = 10, 6
 	demand.NeededSlots, demand.HighSince, demand.LowSince = 10, 0, 5000
 	choices, extras := Surge(Cheapest{}, RolloutFirst(), holdings, []Demand{demand}, 6000)
@@ -158,8 +158,8 @@
 	assert.Equal(t, len(extras), 0)
 }
 
-// TestDonorsKeepWhatTheyUse guards against donors that give up instances which
-// they need, with weights that let pools give up promised instances.
+// TestDonorsKeepWhatTheyUse guards against donors that give up promised instances
+// that they need themselves.
 func TestDonorsKeepWhatTheyUse(t *testing.T) {
 	weights := RolloutFirst()
 	weights.Donate, weights.MinSpare = true, 8
