lend: correct the comments on leases, back-offs, renewals and returns

Inaccurate and put right: loans that a response does not renew have not ended, they have to be returned; what refusedBackoff, faultyBackoff, retryAfter and maxLoans limit; lastUsed; how the end of a recalled loan is determined; what MayBorrow covers. maxWait says in plain words why a request waits half a run time. chooseLender returns allFailed instead of none. Three messages of the simulation say what was counted.

--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -9,19 +9,22 @@
 )
 
 const (
-	// leaseMarginDivisor sets the margin at the end of a lease in which no
-	// request starts, 1/leaseMarginDivisor of the lease: clocks differ in rate,
-	// and handling takes time.
+	// leaseMarginDivisor determines the last part of a lease, 1/leaseMarginDivisor
+	// of its length, in which no request starts on the loan, because clocks
+	// differ in rate and the start of a request takes time.
 	leaseMarginDivisor = 10
-	// retryAfter is the delay before a message without a response is sent
-	// again.
+	// retryAfter is the delay before a recall or a return is sent again. A lender
+	// that did not respond to a loan request gets no other loan request or return
+	// for half of it.
 	retryAfter clock.Millis = 500
-	// refusedBackoff is how long a lender that granted nothing is not asked
-	// again for the pool. faultyBackoff is how long a lender is not asked at
-	// all after its upstream did not respond.
+	// refusedBackoff is how long a lender that granted nothing is not asked again
+	// for slots of the pool, and how long one whose response to a request for
+	// slots was lost or ignored is not asked for slots of any pool. faultyBackoff
+	// is how long a lender is not asked for slots after failed requests ended one
+	// of its loans.
 	refusedBackoff = clock.Second
 	faultyBackoff  = 5 * clock.Second
-	// maxFailures is the number of consecutive failures that end a loan.
+	// maxFailures is the number of consecutive failed requests that end a loan.
 	maxFailures = 3
 )
 
@@ -31,20 +34,22 @@
 	Lender model.Process
 	// UsableUntil is the time from which no request starts.
 	UsableUntil clock.Millis
-	// Running is the number of requests in flight; at most Slots.
+	// Running is the number of requests in flight on the loan; at most Slots.
 	Running int
 	// ended is set, for good, once no more requests may start on the loan.
 	ended bool
 	// lenderIncarnation is the incarnation of the lender that granted the loan.
 	lenderIncarnation uint64
-	// lastUsed is the last time at which a request was in flight.
+	// lastUsed is the last time at which a request started or ended; before the
+	// first one, the time at which the loan was received.
 	lastUsed clock.Millis
-	// renewing is set while a renewal awaits its response.
+	// renewing is set while a request to renew the loan awaits its response.
 	renewing bool
-	// failures counts consecutive failures.
+	// failures counts consecutive failed requests.
 	failures int
-	// nextReturn is the earliest time of the next return. From forgetAt on
-	// the lender needs no return because the loan has expired there.
+	// nextReturn is the earliest time at which a return is sent, or sent again.
+	// From forgetAt on the lender needs no return because the loan has expired
+	// there.
 	nextReturn, forgetAt clock.Millis
 }
 
@@ -55,15 +60,16 @@
 	return string(h.Instance) + "#" + strconv.FormatUint(uint64(h.ID), 16)
 }
 
-// poolLoans is what a process borrows in one pool.
+// poolLoans is the state of a process as a borrower in one pool.
 type poolLoans struct {
 	loans []*HeldLoan
-	// pendingSlots is the number of requested slots without a response.
+	// pendingSlots is the number of slots in requests that await a response.
 	pendingSlots int
-	// pressureSince is the time since which requests have waited for slots without
-	// a break; 0 if none wait.
+	// pressureSince is the time since which requests have been waiting for slots
+	// without a break; 0 if none wait.
 	pressureSince clock.Millis
-	// refusedUntil holds the time until which a lender is not asked again.
+	// refusedUntil holds the time until which each lender is not asked again for
+	// slots of the pool.
 	refusedUntil map[model.Process]clock.Millis
 	// failedSearchUntil is the time until which no loan is expected because
 	// every lender refused or failed.
@@ -73,15 +79,16 @@
 // lender is the state of another process as a lender.
 type lender struct {
 	member model.Member
-	// incarnation is the incarnation in the process's last recall; 0 before the
-	// first one. Responses of other incarnations are ignored.
+	// incarnation is the incarnation in the last recall of the process; 0 before
+	// the first one. After that, responses of other incarnations are ignored.
 	incarnation uint64
-	// busy is set while a message awaits its result.
+	// busy is set while a loan request or a return to the process awaits its
+	// response.
 	busy bool
 	// faultyUntil is the time until which no slots are requested from the
 	// process; held loans are still renewed.
 	faultyUntil clock.Millis
-	// nextMessage is the earliest time of the next message.
+	// nextMessage is the earliest time of the next loan request or return.
 	nextMessage clock.Millis
 }
 
@@ -106,8 +113,8 @@
 	return nil, false
 }
 
-// Release frees a slot. failed says that the upstream failed, and unreached
-// that no connection could be opened.
+// Release frees a slot that Acquire reserved. failed says that the upstream failed
+// the request, and unreached that no connection to it could be opened.
 func (l *Ledger[P]) Release(now clock.Millis, h *HeldLoan, failed, unreached bool) {
 	h.Running--
 	h.lastUsed = now
@@ -151,9 +158,10 @@
 	}
 }
 
-// MayBorrow reports whether a process without own slots of the pool may get
-// some: it holds usable loans, or not all lenders have recently refused or
-// failed.
+// MayBorrow reports whether requests of a pool may get borrowed slots: the process
+// holds usable loans or awaits the response to a request, or not all lenders have
+// recently refused or failed. A process without own slots of the pool need not
+// keep requests waiting if it returns false.
 func (l *Ledger[P]) MayBorrow(now clock.Millis, p model.Pool) bool {
 	if !l.Enabled() {
 		return false
@@ -162,7 +170,8 @@
 	return s == nil || s.pendingSlots > 0 || now >= s.failedSearchUntil || l.BorrowedSlots(now, p) > 0
 }
 
-// EndLoansOf ends the held loans of an instance that left the pool.
+// EndLoansOf ends the held loans of an instance that does not serve the pool of the
+// loan any more.
 func (l *Ledger[P]) EndLoansOf(i model.Instance) {
 	for _, h := range l.held {
 		if h.Instance == i.ID && (i.Phase != model.PhaseServing || i.Pool != h.Pool) {
@@ -171,8 +180,9 @@
 	}
 }
 
-// HandleRecall ends the loans of earlier runs of a lender. It reports whether
-// none of them are left, including their connections.
+// HandleRecall ends the held loans that earlier runs of the lender granted. It
+// reports whether none of them is left. A loan is left until it was returned, which
+// includes that its connections are closed, or has expired at the lender.
 func (l *Ledger[P]) HandleRecall(r Recall) (clear bool) {
 	if from := l.lenders[r.Lender]; from != nil {
 		from.incarnation = r.Incarnation
@@ -187,7 +197,7 @@
 }
 
 // HandleResponse processes the response to the loan request m that was sent at
-// sentAt. ok is false if there was no response: the lender may have granted
+// sentAt. ok is false if there was no response: the lender may still have granted
 // loans, which are then returned unused.
 func (l *Ledger[P]) HandleResponse(now clock.Millis, m Message, sentAt clock.Millis, resp LoanResponse, ok bool) {
 	from, loans := l.lenders[m.To], l.loansOf(m.Request.Pool)
@@ -195,7 +205,8 @@
 	if !ok {
 		from.nextMessage = now + retryAfter/2
 	}
-	// A response from a run before the last recall is ignored as well.
+	// A response of a run other than the one that sent the last recall is ignored
+	// as well.
 	ignored := !ok || from.incarnation != 0 && from.incarnation != resp.Incarnation
 	end := sentAt + resp.Lease - resp.Lease/leaseMarginDivisor
 	for _, id := range m.Request.Renew {
@@ -207,7 +218,8 @@
 	loans.pendingSlots -= m.Request.Slots
 	if ignored {
 		from.faultyUntil = now + refusedBackoff
-		// This entry stands for all loans that the lender may have granted.
+		// The loan without a position stands for all loans that the lender may
+		// have granted, so that they are returned.
 		l.hold(&HeldLoan{
 			Loan: Loan{ID: requestLoanID(m.Request.Number), Pool: m.Request.Pool}, Lender: m.To, ended: true,
 			forgetAt: now + l.cfg.Lease + l.cfg.MaxRequestTime,
@@ -227,8 +239,8 @@
 	}
 }
 
-// renewed processes the result of one renewal. Without a response nothing
-// changes: the loan is valid until the known end.
+// renewed processes the result of the renewal of one loan. end is the end of its
+// new lease. Without a response the loan stays valid until its known end.
 func (l *Ledger[P]) renewed(now clock.Millis, id ID, end clock.Millis, resp LoanResponse, ok, ignored bool) {
 	h := l.held[id]
 	if h == nil {
@@ -245,7 +257,8 @@
 	}
 }
 
-// hold adds a loan to the held ones.
+// hold adds a loan to the held ones. A loan that stands for all loans of a request
+// has no slots and is never acquired.
 func (l *Ledger[P]) hold(h *HeldLoan) {
 	l.held[h.ID] = h
 	if h.Slots == 0 {
@@ -256,7 +269,7 @@
 	l.Counts.HeldSlots += int64(h.Slots)
 }
 
-// forget removes a loan that was returned or that has expired at its lender.
+// forget removes a held loan that was returned or has expired at its lender.
 func (l *Ledger[P]) forget(h *HeldLoan) {
 	delete(l.held, h.ID)
 	s := l.loansOf(h.Pool)
@@ -266,8 +279,8 @@
 	}
 }
 
-// HandleReturnResult records that the lender has processed a return; ok is
-// false if there was no response.
+// HandleReturnResult processes the result of the return m. ok says that the lender
+// confirmed it; otherwise the return is sent again later.
 func (l *Ledger[P]) HandleReturnResult(m Message, ok bool) {
 	l.lenders[m.To].busy = false
 	for _, id := range m.Return.IDs {
@@ -277,8 +290,7 @@
 	}
 }
 
-// loansOf returns the loans in a pool and creates an empty entry if there is
-// none.
+// loansOf returns the state of a pool, and creates it if there is none yet.
 func (l *Ledger[P]) loansOf(p model.Pool) *poolLoans {
 	s := l.pools[p]
 	if s == nil {
--- a/core/state/lend/fair.go
+++ b/core/state/lend/fair.go
@@ -6,23 +6,24 @@
 )
 
 // starvedLeases is the number of leases for which a borrower that got nothing
-// keeps its claim to a share: long enough for other loans not to be renewed and
-// for the borrower to ask again.
+// counts in the fair share: long enough for loans of other borrowers to end
+// because they are not renewed, and for the borrower to ask again.
 const starvedLeases = 2
 
-// fairShare divides the lendable slots of a pool between its borrowers, so that
-// those that asked first do not keep all of them.
+// fairShare is the division of a pool's lendable slots between its borrowers, so
+// that those that asked first do not keep all of them.
 type fairShare struct {
 	// slots is the number of slots that one borrower may hold; at least 1.
 	slots int
-	// held counts the slots of each borrower in the pool, including those that
-	// hold none.
+	// held counts the slots of each borrower in the pool. It also contains the
+	// borrowers that hold none but count in the share.
 	held map[model.Process]int
-	// contended says that another borrower got nothing recently.
+	// contended says that another borrower recently got nothing.
 	contended bool
 }
 
-// fairShare computes the fair share of a pool for the borrower of a request.
+// fairShare computes the fair share of the borrower of a request in its pool.
+// upstreams lists the pool's upstreams that may be lent.
 func (l *Ledger[P]) fairShare(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots) fairShare {
 	share := fairShare{held: map[model.Process]int{req.Borrower: 0}}
 	for key, granted := range l.lentLoans {
@@ -35,7 +36,7 @@
 		case now-since > starvedLeases*l.cfg.Lease:
 			delete(l.starved, starved)
 		case starved.pool == req.Pool && starved.borrower != req.Borrower:
-			// The borrower gets a share even if it holds no slot.
+			// The entry makes the borrower count even if it holds no slot.
 			share.held[starved.borrower] += 0
 			share.contended = true
 		}
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -7,7 +7,8 @@
 
 // loanKey identifies a granted loan.
 type loanKey struct {
-	borrower    model.Process
+	borrower model.Process
+	// incarnation is that of the borrower.
 	incarnation uint64
 	id          ID
 }
@@ -15,8 +16,8 @@
 // lentLoan is a loan that this process has granted.
 type lentLoan struct {
 	loan Loan
-	// end is the time after which the borrower certainly no longer uses the
-	// loan; it never moves back.
+	// end is the time from which the borrower certainly does not use the loan any
+	// more; it never moves back.
 	end clock.Millis
 }
 
@@ -29,26 +30,26 @@
 
 	lentLoans map[loanKey]lentLoan
 	lentSlots map[model.InstanceID]int
-	// starved holds for each borrower without loans the time of its last
-	// request that was granted nothing.
+	// starved holds, for each borrower that holds no loan in a pool, the time of
+	// its last request that was granted nothing.
 	starved map[starvedKey]clock.Millis
-	// changed lists the instances whose number of lent slots changed; see
-	// TakeChanges.
+	// changed lists the instances whose number of lent slots has changed since
+	// the last call of TakeChanges.
 	changed []model.InstanceID
-	// unacknowledged lists the processes that may hold loans of earlier runs of
-	// this process, with the time of the next recall to each. All such loans
-	// have ended by loansUncertainUntil.
+	// unacknowledged holds the processes that may hold loans of earlier runs of
+	// this process, with the earliest time of the next recall to each. All such
+	// loans have ended by loansUncertainUntil.
 	unacknowledged      map[model.Process]clock.Millis
 	loansUncertainUntil clock.Millis
 
 	held       map[ID]*HeldLoan
 	pools      map[model.Pool]*poolLoans
 	lastNumber uint64
-	// lenders holds the state of the other processes as lenders.
+	// lenders holds the state of the other entry processes as lenders.
 	lenders map[model.Process]*lender
 }
 
-// New returns the ledger of a process that starts at now.
+// New returns the ledger of a process whose run starts at now.
 func New[P Policy](cfg Settings, policy P, now clock.Millis) *Ledger[P] {
 	l := &Ledger[P]{
 		cfg: cfg, policy: policy,
@@ -74,9 +75,9 @@
 // Enabled reports whether lending is turned on.
 func (l *Ledger[P]) Enabled() bool { return l.cfg.Lease > 0 }
 
-// LoansUncertain reports whether loans of an earlier run of this process may be in
-// use. While they may, the process must leave its lendable slots unused and
-// must not confirm the release of an instance.
+// LoansUncertain reports whether loans that an earlier run of this process granted
+// may still be in use. While it returns true, the process must leave its lendable
+// slots unused and must not confirm the release of an instance.
 func (l *Ledger[P]) LoansUncertain(now clock.Millis) bool {
 	if len(l.unacknowledged) > 0 && now >= l.loansUncertainUntil {
 		clear(l.unacknowledged)
@@ -84,14 +85,15 @@
 	return len(l.unacknowledged) > 0
 }
 
-// HandleRecallAck records that a process holds no loan of an earlier run.
+// HandleRecallAck records that a process holds no loans of earlier runs of this
+// process.
 func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.unacknowledged, from) }
 
-// Lent returns how many slots of an own upstream are lent.
+// Lent returns how many of this process's slots of an upstream are lent.
 func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lentSlots[id] }
 
-// TakeChanges calls f for each instance whose number of lent slots changed
-// since the last call.
+// TakeChanges calls f for each instance whose number of lent slots has changed
+// since the last call. f may be called several times for one instance.
 func (l *Ledger[P]) TakeChanges(f func(id model.InstanceID, lent int)) {
 	for _, id := range l.changed {
 		f(id, l.lentSlots[id])
@@ -99,9 +101,9 @@
 	l.changed = l.changed[:0]
 }
 
-// Grant answers a loan request, within the borrower's fair share of the slots.
-// upstreams lists the upstreams of the pool that may be lent, each once. find
-// returns one upstream, or false if it is not routable.
+// Grant answers a loan request within the borrower's fair share of the slots.
+// upstreams lists the upstreams of the pool whose slots may be lent, each once.
+// find returns the upstream of an instance, or false if it is not routable.
 func (l *Ledger[P]) Grant(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots, find func(model.InstanceID) (UpstreamSlots, bool)) LoanResponse {
 	out := LoanResponse{Incarnation: l.cfg.Incarnation, Lease: l.cfg.Lease}
 	if !l.Enabled() || l.LoansUncertain(now) {
@@ -142,8 +144,9 @@
 	return out
 }
 
-// renew extends the lease of a loan, unless its upstream has changed since it
-// was lent or own requests need the slots.
+// renew extends the lease of a loan to end and reports whether it did. It does not
+// if the upstream has changed since the loan was granted, if own requests wait, or
+// if more slots are lent than may be.
 func (l *Ledger[P]) renew(key loanKey, end clock.Millis, find func(model.InstanceID) (UpstreamSlots, bool)) bool {
 	granted, ok := l.lentLoans[key]
 	if !ok {
@@ -159,8 +162,8 @@
 	return true
 }
 
-// lend grants a loan of at most wanted slots of one upstream. position is the
-// loan's position in the response.
+// lend grants a loan of at most wanted slots of one upstream, and returns false if
+// it can lend none. position is the loan's position in the response.
 func (l *Ledger[P]) lend(req LoanRequest, upstream UpstreamSlots, wanted, position int, end clock.Millis) (Loan, bool) {
 	upstream.Lent = l.lentSlots[upstream.Instance]
 	slots := min(l.policy.SlotsToLend(upstream), upstream.Lendable-upstream.Lent, upstream.Slots-upstream.Running-upstream.Lent, wanted)
@@ -208,7 +211,8 @@
 	}
 }
 
-// Expire ends the granted loans that the borrower certainly no longer uses.
+// Expire ends the granted loans that were not returned in time; their borrowers
+// certainly do not use them any more.
 func (l *Ledger[P]) Expire(now clock.Millis) {
 	for key, granted := range l.lentLoans {
 		if now >= granted.end {
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -9,8 +9,8 @@
 	"camphorridge/core/state/model"
 )
 
-// TestSplit guards against a split that leaves own slots without a connection, or
-// that gives loans more connections than were reserved for them.
+// TestSplit guards against a split that leaves own slots without a connection, lends
+// more slots than there are, or uses more connections than there are.
 func TestSplit(t *testing.T) {
 	for slots := range 20 {
 		for connections := range 80 {
@@ -25,8 +25,8 @@
 	assert.DeepEqual(t, []int{own, lendable, perSlot}, []int{16, 3, 5})
 }
 
-// TestIdle guards against requests without need, and against loans of slots in
-// use.
+// TestIdle guards against requests for slots that are not needed, and against loans
+// of slots that are in use or lent.
 func TestIdle(t *testing.T) {
 	for _, c := range []struct {
 		p    Pressure
@@ -50,7 +50,7 @@
 	assert.Equal(t, Idle{}.SlotsToLend(s), 0)
 }
 
-// newTestLedger returns the ledger of process b; the only other process is a.
+// newTestLedger returns the ledger of process b. The only other process is a.
 func newTestLedger() *Ledger[Idle] {
 	return New(Settings{
 		Self: "b", Zone: "z2", Incarnation: 7, Lease: 1000, MaxRequestTime: 5000,
@@ -58,7 +58,7 @@
 	}, Idle{}, 0)
 }
 
-// demand is the demand of one pool whose instances are in zone z1.
+// demand is the demand for one pool whose only instance is in zone z1.
 var demand = []PoolDemand{{Pool: "p", InstancesByZone: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
 
 // dueMessage returns the only due message other than recalls.
@@ -79,9 +79,9 @@
 	return LoanResponse{Incarnation: incarnation, Lease: 1000, Loans: []Loan{{ID: requestLoanID(m.Request.Number) + 1, Instance: "i", Pool: "p", Slots: 2, Connections: 4}}}
 }
 
-// TestLeaseCountsFromTheRequest guards against use of a loan after its lease,
-// which counts from the time of the request, and against a loan that is not
-// renewed while used or not returned while idle.
+// TestLeaseCountsFromTheRequest guards against the use of a loan after the end of
+// its lease, which counts from the sending of the request, and against a loan that
+// is not renewed while it is used or not returned after that.
 func TestLeaseCountsFromTheRequest(t *testing.T) {
 	l := newTestLedger()
 	m := dueMessage(t, l, 100, demand)
@@ -102,9 +102,9 @@
 	assert.Equal(t, l.Counts.HeldSlots, int64(0))
 }
 
-// TestIgnoredResponses guards against loans of a lender's earlier run whose
-// response arrived after its recall was acknowledged, and against slots that stay
-// lent because the response that granted them was lost.
+// TestIgnoredResponses guards against the use of loans whose response arrives after
+// the lender has restarted and its recall was acknowledged, and against slots that
+// stay lent because the response that granted them was lost or ignored.
 func TestIgnoredResponses(t *testing.T) {
 	l := newTestLedger()
 	m := dueMessage(t, l, 100, demand)
@@ -121,8 +121,8 @@
 	assert.Equal(t, a.Lent("i"), 0)
 }
 
-// TestMayBorrowEndsWhenAllRefuse guards against requests that wait in a pool in
-// which nobody lends slots.
+// TestMayBorrowEndsWhenAllRefuse guards against requests that are kept waiting in a
+// pool in which every lender refused, and against a refusal that counts for ever.
 func TestMayBorrowEndsWhenAllRefuse(t *testing.T) {
 	l := newTestLedger()
 	m := dueMessage(t, l, 100, demand)
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -7,9 +7,10 @@
 	"camphorridge/core/state/model"
 )
 
-// DueMessages appends the messages that are due: recalls, returns, renewals,
-// and at most one loan request for each pool in need. At most one loan request
-// or return is in flight to a process.
+// DueMessages appends to buf the messages that are due: recalls, returns, renewals,
+// and for each pool in demands at most one request for new loans. demands lists
+// the pools with waiting requests. At most one loan request or return is in flight
+// to a process.
 func (l *Ledger[P]) DueMessages(now clock.Millis, demands []PoolDemand, buf []Message) []Message {
 	if !l.Enabled() {
 		return buf
@@ -29,7 +30,7 @@
 	return buf
 }
 
-// appendRecalls appends the due recalls while loans of an earlier run are uncertain.
+// appendRecalls appends the due recalls while loans of earlier runs may be in use.
 func (l *Ledger[P]) appendRecalls(now clock.Millis, buf []Message) []Message {
 	if !l.LoansUncertain(now) {
 		return buf
@@ -46,8 +47,8 @@
 	return buf
 }
 
-// endUnneeded ends the held loans that expired or are not needed, and forgets
-// those that have expired at their lenders.
+// endUnneeded ends the held loans that are not usable any more or have been idle
+// for too long, and forgets ended ones that have expired at their lenders.
 func (l *Ledger[P]) endUnneeded(now clock.Millis) {
 	for _, h := range l.held {
 		if now >= h.UsableUntil || h.Running == 0 && !l.policy.KeepIdle(now-h.lastUsed, l.cfg.Lease) {
@@ -60,7 +61,7 @@
 }
 
 // ReturnAll ends all held loans and returns the messages that give back those
-// without a request in flight.
+// without a request in flight, even to lenders whose response is awaited.
 func (l *Ledger[P]) ReturnAll(now clock.Millis) []Message {
 	for _, to := range l.lenders {
 		to.busy, to.nextMessage = false, 0
@@ -71,8 +72,8 @@
 	return l.appendReturns(now, nil)
 }
 
-// appendReturns appends the due returns of ended loans, one message for each
-// lender.
+// appendReturns appends the due returns of ended loans without requests in flight,
+// one message for each lender.
 func (l *Ledger[P]) appendReturns(now clock.Millis, buf []Message) []Message {
 	indexByLender := map[model.Process]int{}
 	for _, h := range l.held {
@@ -102,8 +103,8 @@
 	return buf
 }
 
-// appendRenewals appends renewals of the loans that have at most half a lease
-// left, one message for each lender.
+// appendRenewals appends renewals of the loans that are usable for at most half a
+// lease more, one message for each lender.
 func (l *Ledger[P]) appendRenewals(now clock.Millis, buf []Message) []Message {
 	indexByLender := map[model.Process]int{}
 	for _, h := range l.held {
@@ -136,8 +137,8 @@
 	}
 }
 
-// requestLoans asks one lender for the slots that the pool needs beyond those
-// already requested.
+// requestLoans appends a request to one lender for the slots that the pool needs
+// beyond those already requested.
 func (l *Ledger[P]) requestLoans(now clock.Millis, demand PoolDemand, buf []Message) []Message {
 	loans := l.loansOf(demand.Pool)
 	if loans.pressureSince == 0 {
@@ -148,8 +149,8 @@
 	if wanted <= 0 || len(l.held) >= maxLoans {
 		return buf
 	}
-	to, none := l.chooseLender(now, loans, demand.InstancesByZone)
-	if none && loans.pendingSlots == 0 {
+	to, allFailed := l.chooseLender(now, loans, demand.InstancesByZone)
+	if allFailed && loans.pendingSlots == 0 {
 		loans.failedSearchUntil = now + refusedBackoff
 	}
 	if to == nil {
@@ -162,12 +163,12 @@
 	return append(buf, Message{Kind: MessageRequest, To: to.member.Name, Request: l.newRequest(demand.Pool, wanted)})
 }
 
-// chooseLender returns the process to ask, or nil if there is none to ask now:
-// one of the own zone if possible, and round-robin among equals. none reports
-// that every lender in a zone with instances of the pool has recently refused
-// or failed.
-func (l *Ledger[P]) chooseLender(now clock.Millis, loans *poolLoans, zones map[model.Zone]int) (best *lender, none bool) {
-	none = true
+// chooseLender returns the lender to ask, or nil if there is none to ask now: one in
+// this process's zone if possible, and round-robin among equals. allFailed reports
+// that every lender in a zone with instances of the pool has recently refused or
+// failed.
+func (l *Ledger[P]) chooseLender(now clock.Millis, loans *poolLoans, zones map[model.Zone]int) (best *lender, allFailed bool) {
+	allFailed = true
 	all := l.cfg.Entries
 	for i := range all {
 		m := all[(i+int(l.lastNumber%uint64(len(all))))%len(all)]
@@ -175,7 +176,7 @@
 		if to == nil || zones[m.Zone] == 0 || now < loans.refusedUntil[m.Name] || now < to.faultyUntil {
 			continue
 		}
-		none = false
+		allFailed = false
 		if to.busy || now < to.nextMessage {
 			continue
 		}
@@ -183,5 +184,5 @@
 			best = to
 		}
 	}
-	return best, none
+	return best, allFailed
 }
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -2,18 +2,18 @@
 
 import "camphorridge/core/state/clock"
 
-// Pressure is the demand of a pool in a process that may need more slots.
+// Pressure describes the demand for a pool in one process, from which the policy
+// decides whether the process needs more slots.
 type Pressure struct {
 	// Waiting is the number of waiting requests whose customers may run now.
 	Waiting int
-	// Capacity is the number of requests that own and borrowed slots run at
-	// once.
+	// Capacity is the number of requests that the process's own and borrowed
+	// slots run at once.
 	Capacity int
 	// TypicalRunTime is the smoothed run time of a request; 0 if it is not
 	// known.
 	TypicalRunTime clock.Millis
-	// Duration is how long there have been such waiting requests without a
-	// break.
+	// Duration is how long requests have been waiting without a break.
 	Duration clock.Millis
 }
 
@@ -26,10 +26,10 @@
 	// connections that go with each lent slot.
 	Lendable           int
 	ConnectionsPerSlot int
-	// PeakRunning is the largest number of own requests at once in the last
-	// seconds.
+	// PeakRunning is the largest number of own requests that were in flight at
+	// once in the last seconds.
 	PeakRunning int
-	// Running is the number of own requests in flight; at most PeakRunning.
+	// Running is the number of own requests in flight now; at most PeakRunning.
 	Running int
 	// Lent is the number of slots that are already lent.
 	Lent int
@@ -39,16 +39,17 @@
 
 // Policy decides how many slots to request and how many to lend.
 type Policy interface {
-	// SlotsToRequest returns the number of slots to request.
+	// SlotsToRequest returns the number of slots to request. The caller subtracts
+	// the slots whose request is still in flight.
 	SlotsToRequest(p Pressure) int
 	// SlotsToLend returns the number of slots to lend, at most Lendable-Lent.
 	SlotsToLend(s UpstreamSlots) int
-	// KeepIdle reports whether to keep a held loan that has been idle for the
-	// given time.
+	// KeepIdle reports whether to keep a held loan without requests that has been
+	// idle for the given time.
 	KeepIdle(idle, lease clock.Millis) bool
 }
 
-// NoLending is the baseline: each process uses its own share only.
+// NoLending is the baseline: each process uses only its own share.
 type NoLending struct{}
 
 // SlotsToRequest returns 0.
@@ -62,11 +63,12 @@
 
 const (
 	// minPressureTime is how long requests must have been waiting before slots
-	// are requested: own slots work off a short burst without a loan.
+	// are requested: own slots can serve a short burst without a loan.
 	minPressureTime clock.Millis = 100
-	// maxWait limits how long a request may wait for an own slot before a slot
-	// is requested for it. The wait is half a run time: with several run times,
-	// a closed loop of callers used only a fifth of the idle slots.
+	// maxWait is the upper limit of the time that a request may wait for an own
+	// or borrowed slot before a slot is requested for it. The time is half a run
+	// time: with several run times, callers that send a request only after the
+	// response to the last one used only a fifth of the idle slots.
 	maxWait clock.Millis = 100
 	// defaultRunTime is assumed if the run time is not known.
 	defaultRunTime clock.Millis = 20
@@ -76,8 +78,9 @@
 // were idle in the last seconds.
 type Idle struct{}
 
-// SlotsToRequest returns one slot for each waiting request that own slots will
-// not start within half a run time, at most maxWait.
+// SlotsToRequest returns one slot for each waiting request that is not expected to
+// start on an own or borrowed slot within half a run time or maxWait, whichever is
+// shorter.
 func (Idle) SlotsToRequest(p Pressure) int {
 	if p.Capacity > 0 && p.Duration < minPressureTime {
 		return 0
@@ -90,8 +93,8 @@
 	return min(max(p.Waiting-inTime, 0), maxSlotsPerRequest)
 }
 
-// SlotsToLend returns the idle slots above the reserve, or 0 while own requests
-// wait.
+// SlotsToLend returns the number of lendable slots that were idle in the last
+// seconds and are not lent, or 0 while own requests wait.
 func (Idle) SlotsToLend(s UpstreamSlots) int {
 	if s.Waiting > 0 {
 		return 0
@@ -103,11 +106,13 @@
 // short pause does not cost a new request.
 func (Idle) KeepIdle(idle, lease clock.Millis) bool { return idle < lease }
 
-// SplitShare divides a process's share of an upstream into own connections, the
-// slots that may be lent, and the connections that go with each of them. Half
-// of the connections are always reserved for loans, so that no connection has
-// to be closed before slots are lent. Nothing can be lent when the other half
-// is smaller than the number of slots.
+// SplitShare divides a process's share of an upstream. It returns the number of
+// connections for own requests, the number of slots that may be lent, and the
+// number of connections that go with each lent slot. Half of the connections are
+// reserved for loans even while nothing is lent, so that no connection has to be
+// closed before slots are lent. Nothing can be lent, and own requests get all
+// connections, if the other half is smaller than the number of slots or the
+// reserve leaves no slot.
 func SplitShare(slots, connections, reservePercent int) (own, lendable, perSlot int) {
 	reserve := (slots*reservePercent + 99) / 100
 	lendableConnections := connections / 2
--- a/core/state/lend/simulation_test.go
+++ b/core/state/lend/simulation_test.go
@@ -28,7 +28,8 @@
 
 // requestRun is a request in flight.
 type requestRun struct {
-	// A request holds a reservation of an own slot, or a loan.
+	// A request holds either a reservation of an own slot or a slot of a loan; loan
+	// is nil in the first case.
 	reservation route.Reservation
 	loan        *lend.HeldLoan
 	id          model.InstanceID
@@ -47,7 +48,8 @@
 	version     model.Version
 }
 
-// pendingMessage is a message in flight. lost is set once the sender was told
+// pendingMessage is a message in flight, and after its arrival the response to it.
+// replied is set when the message has arrived. lost is set when the sender was told
 // that there is no response; the message may still arrive after that.
 type pendingMessage struct {
 	from, to      *proc
@@ -59,8 +61,8 @@
 	replied, lost bool
 }
 
-// simulation is four entry processes in two zones, and the upstreams of one of
-// the zones.
+// simulation simulates four entry processes in two zones and two upstreams in one
+// of the zones.
 type simulation struct {
 	t *rapid.T
 	// rng draws the schedule and is seeded by rapid: values drawn by rapid
@@ -70,8 +72,9 @@
 	procs   []*proc
 	network []*pendingMessage
 	table   []model.Instance
-	// confirmed records which processes confirmed the release of an instance,
-	// and moved the instances whose release all of them confirmed.
+	// confirmed records which processes confirmed the release of an instance, and
+	// moved the instances whose release was confirmed by both processes of the
+	// upstreams' zone.
 	moved     map[model.InstanceID]bool
 	confirmed map[model.InstanceID]map[*proc]bool
 }
@@ -99,7 +102,7 @@
 // localTime returns the time on the clock of a process.
 func (s *simulation) localTime(p *proc) clock.Millis { return s.now + p.offset }
 
-// start starts a new run of a process. The requests of its previous run end
+// start starts a new run of a process. The requests of its previous run have ended
 // with that run.
 func (s *simulation) start(p *proc) {
 	p.incarnation++
@@ -129,7 +132,7 @@
 	s.syncRouter(p)
 }
 
-// applyTable applies the newest table to a process.
+// applyTable applies the current table to a process.
 func (s *simulation) applyTable(p *proc) {
 	before := p.version
 	for _, i := range s.table {
@@ -225,8 +228,8 @@
 	}
 }
 
-// deliverMessage takes a message one step further: it arrives, its response
-// arrives, or the sender gives up.
+// deliverMessage takes a random message one step further: the message arrives, its
+// response arrives, or the sender gives up waiting for the response.
 func (s *simulation) deliverMessage() {
 	if len(s.network) == 0 {
 		return
@@ -265,8 +268,8 @@
 	s.syncRouter(m.to)
 }
 
-// reportResult passes the result of a message to its sender, unless the sender
-// has restarted.
+// reportResult passes the result of a message to its sender, unless the sender has
+// restarted. ok says that there is a response.
 func (s *simulation) reportResult(m *pendingMessage, ok bool) {
 	if m.incarnation != m.from.incarnation {
 		return
@@ -292,8 +295,8 @@
 
 func (s *simulation) restartProcess() { s.start(s.randomProcess()) }
 
-// changeInstance releases an instance, or returns one whose release was
-// confirmed to the pool.
+// changeInstance starts the release of a random instance, or returns it to the pool
+// if its release was confirmed.
 func (s *simulation) changeInstance() {
 	i := &s.table[s.rng.IntN(len(s.table))]
 	switch {
@@ -311,7 +314,9 @@
 
 func (s *simulation) applyTableAnywhere() { s.applyTable(s.randomProcess()) }
 
-// check verifies the invariants after each step.
+// check verifies after each step that no upstream runs more requests than it has
+// slots and that no request runs on an instance that has left the pool, and updates
+// confirmed and moved.
 func (s *simulation) check() {
 	running := map[model.InstanceID]int{}
 	for _, p := range s.procs {
@@ -324,7 +329,7 @@
 	}
 	for id, n := range running {
 		if n > slots {
-			s.t.Fatalf("%d requests run on %s", n, id)
+			s.t.Fatalf("more requests run than there are slots: %d on %s", n, id)
 		}
 	}
 	for _, i := range s.table {
@@ -342,9 +347,9 @@
 	}
 }
 
-// TestLoansKeepSlotsAndPools guards against an upstream with more requests than
-// slots, and against a request on an instance that has left its pool, whatever
-// messages are lost or late and whichever processes restart.
+// TestLoansKeepSlotsAndPools guards against an upstream that runs more requests than
+// it has slots, and against a request on an instance that has left its pool, while
+// messages are lost or late and processes restart.
 func TestLoansKeepSlotsAndPools(t *testing.T) {
 	var used, moves int64
 	rapid.Check(t, func(t *rapid.T) {
@@ -379,8 +384,8 @@
 			used += p.ledger.Counts.Used
 		}
 	})
-	t.Logf("%d requests ran on loans, %d steps saw an instance out of its pool", used, moves)
+	t.Logf("%d requests ran on loans; %d times a step found an instance out of its pool", used, moves)
 	if used == 0 || moves == 0 {
-		t.Fatal("the schedules led to no loan or to no release")
+		t.Fatal("no request ran on a loan, or no instance left its pool, so that nothing was checked")
 	}
 }
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -7,18 +7,20 @@
 
 // Limits on the loans of one process.
 const (
-	// maxLoansPerResponse is the most loans that one response grants, and
-	// maxSlotsPerRequest the most slots that they have together.
+	// maxLoansPerResponse is the largest number of loans that one response
+	// grants, and maxSlotsPerRequest the largest number of slots that they have
+	// together.
 	maxLoansPerResponse = 16
 	maxSlotsPerRequest  = 64
-	// maxLoans is the most loans that a process has granted at once, and the
-	// most that it holds at once.
+	// maxLoans is the number of granted loans at which a process grants no more,
+	// and the number of held loans at which it requests no more. It also limits
+	// the number of borrowers that are remembered because they got nothing.
 	maxLoans = 512
 )
 
-// ID identifies a loan of its borrower. The lowest byte is the position of the
-// loan in its response, from 1; the other bytes are the number of the request.
-// Position 0 stands for all loans of the request.
+// ID identifies a loan among those of one run of its borrower. The lowest byte is
+// the position of the loan in its response, from 1; the other bytes are the number
+// of the request. Position 0 stands for all loans of the request.
 type ID uint64
 
 // positionBits is the number of bits for the position of a loan in its
@@ -62,15 +64,17 @@
 type LoanResponse struct {
 	// Incarnation tells two runs of the lender apart.
 	Incarnation uint64
-	// Lease is how long the loans are valid, from the sending of the request.
+	// Lease is how long the loans are valid, counted from when the request was
+	// sent.
 	Lease clock.Millis
 	Loans []Loan
-	// Renewed lists the loans whose lease starts again. The other loans of the
-	// request's Renew list have ended.
+	// Renewed lists the loans whose lease starts again. The other loans in the
+	// request's Renew list are not renewed: the borrower has to stop using them
+	// and return them.
 	Renewed []ID
 }
 
-// Return gives loans back. No request uses them any more and their connections
+// Return gives loans back. No request runs on them any more, and their connections
 // are closed.
 type Return struct {
 	Borrower    model.Process
@@ -78,8 +82,8 @@
 	IDs         []ID
 }
 
-// Recall is sent by a lender that has restarted and has no record of the loans
-// that its earlier runs granted.
+// Recall asks a process to end the loans that earlier runs of the lender granted
+// to it. A lender sends it after each start because it has no record of them.
 type Recall struct {
 	Lender      model.Process
 	Incarnation uint64
@@ -97,8 +101,9 @@
 	MessageRecall
 )
 
-// Message is a message to be sent to another process. The caller passes its
-// result to HandleResponse, HandleReturnResult or HandleRecallAck.
+// Message is a message to be sent to another process. The caller passes the
+// response, or the lack of one, to HandleResponse or HandleReturnResult, and the
+// confirmation of a recall to HandleRecallAck.
 type Message struct {
 	Kind    MessageKind
 	To      model.Process
@@ -131,19 +136,21 @@
 // Counts are the counters of a ledger. All but LentSlots and HeldSlots only
 // increase.
 type Counts struct {
-	// Requested is the number of requests for new loans sent, Refused the
-	// number of those that brought no loan. Renewals do not count.
+	// Requested is the number of requests for new loans that were sent, and
+	// Refused the number of those that brought no loan. Renewals do not count.
 	Requested, Refused int64
 	// Granted and Received count loans. Expired counts the granted loans that
 	// were not returned in time.
 	Granted, Received, Expired int64
 	// Used is the number of requests that ran on loans.
 	Used int64
-	// LentSlots and HeldSlots are the numbers of slots lent and borrowed now.
+	// LentSlots and HeldSlots are the numbers of slots that are lent and
+	// borrowed now.
 	LentSlots, HeldSlots int64
 }
 
-// PoolDemand is the demand of a pool with waiting requests that may run.
+// PoolDemand is the demand for a pool that has waiting requests whose customers may
+// run now.
 type PoolDemand struct {
 	Pool model.Pool
 	Pressure
