--- a/core/state/plan/index.go
+++ b/core/state/plan/index.go
@@ -3,7 +3,7 @@
 import "camphorridge/core/state/model"
 
 // FleetIndex keeps the counts from which assignments are made, so that they are
-// not computed again for each assignment. It holds nothing but the state: a new
+// not computed again for each assignment. It is derived from the state: a new
 // FleetIndex filled with the same state leads to the same assignments. It is not
 // safe for concurrent use.
 type FleetIndex struct {
