--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -52,11 +52,11 @@
 	})
 }
 
-func (m *memStorage) Install(meta raft.SnapshotMeta, data []byte) error {
+func (m *memStorage) InstallSnapshot(meta raft.SnapshotMeta, data []byte) error {
 	return m.write(func() { m.stored.Snapshot, m.stored.Entries, m.data = meta, nil, data })
 }
 
-func (m *memStorage) Snapshot(meta raft.SnapshotMeta, data []byte) error {
+func (m *memStorage) SaveSnapshot(meta raft.SnapshotMeta, data []byte) error {
 	return m.write(func() {
 		m.stored.Entries = slices.Clone(m.stored.Entries[meta.Index-m.stored.Snapshot.Index:])
 		m.stored.Snapshot, m.data = meta, data
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -16,11 +16,11 @@
 	// Save writes the hard state, unless it is nil, and then replaces all
 	// entries with an index of entries[0].Index or higher.
 	Save(hard *raft.HardState, entries []raft.Entry) error
-	// Install replaces the snapshot and the whole log.
-	Install(meta raft.SnapshotMeta, data []byte) error
-	// Snapshot writes a snapshot of the local state and removes the entries that
+	// InstallSnapshot replaces the snapshot and the whole log.
+	InstallSnapshot(meta raft.SnapshotMeta, data []byte) error
+	// SaveSnapshot writes a snapshot of the local state and removes the entries that
 	// it covers.
-	Snapshot(meta raft.SnapshotMeta, data []byte) error
+	SaveSnapshot(meta raft.SnapshotMeta, data []byte) error
 	// ReadSnapshot returns the latest snapshot.
 	ReadSnapshot() (raft.SnapshotMeta, []byte, error)
 }
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return failf("install", KindCorrupt, "decode the snapshot at index %d: %w", out.Install.Index, err)
 	}
-	if err := g.storage.Install(*out.Install, out.InstallData); err != nil {
+	if err := g.storage.InstallSnapshot(*out.Install, out.InstallData); err != nil {
 		return failf("install", KindDisk, "%w", err)
 	}
 	g.state = state
@@ -129,7 +129,7 @@
 	if !ok {
 		return
 	}
-	if err := g.storage.Snapshot(meta, g.codec.EncodeState(g.state)); err != nil {
+	if err := g.storage.SaveSnapshot(meta, g.codec.EncodeState(g.state)); err != nil {
 		g.counts.SnapshotFailures++
 		g.nextSnapshot = now + g.cfg.RetryDelay
 		return
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -265,7 +265,7 @@
 	switch {
 	case m.Kind == MsgHeartbeat:
 		n.commitTo(min(m.Commit, n.log.last()))
-		n.send(Message{Kind: MsgHeartbeatReply, To: m.From, Term: n.term, Context: m.Context})
+		n.send(Message{Kind: MsgHeartbeatReply, To: m.From, Term: n.term, HeartbeatRound: m.HeartbeatRound})
 	case n.install != nil:
 		// Entries after a received snapshot must not be accepted until an
 		// Output has contained the snapshot: they would be written before it
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -64,7 +64,7 @@
 		if p := n.peers[m.ID]; p != nil {
 			n.send(Message{
 				Kind: MsgHeartbeat, To: m.ID, Term: n.term,
-				Commit: min(p.match, n.commit), Context: n.heartbeatRound,
+				Commit: min(p.match, n.commit), HeartbeatRound: n.heartbeatRound,
 			})
 		}
 	}
@@ -217,7 +217,7 @@
 // onHeartbeatReply records the acknowledged heartbeat round. It allows another
 // append to the member, because an earlier append or its reply may be lost.
 func (n *Node) onHeartbeatReply(m Message, p *progress) {
-	p.ackedRound = max(p.ackedRound, m.Context)
+	p.ackedRound = max(p.ackedRound, m.HeartbeatRound)
 	p.paused = false
 	p.sendEmpty = true
 	n.confirmReads()
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -108,10 +108,10 @@
 	// that entry. In a reply to a snapshot chunk, Hint is the offset of the
 	// chunk.
 	Hint uint64
-	// Context is the heartbeat round. The reply to a heartbeat repeats it,
+	// HeartbeatRound is the heartbeat round. The reply to a heartbeat repeats it,
 	// which confirms the reads of that round.
-	Context  uint64
-	Snapshot SnapshotMeta
+	HeartbeatRound uint64
+	Snapshot       SnapshotMeta
 	// Offset, Chunk and Last are the offset in bytes and the data of a snapshot
 	// chunk, and whether it is the last one. In a reply, Offset is the number
 	// of bytes received.
--- a/core/state/store/bench_test.go
+++ b/core/state/store/bench_test.go
@@ -115,7 +115,7 @@
 				}
 				if snapshot {
 					_, state := batches(n-100, 100)
-					assert.NilError(b, s.Snapshot(raft.SnapshotMeta{Index: uint64(n - 100), Term: 1, Members: members}, wire.EncodeState(state)))
+					assert.NilError(b, s.SaveSnapshot(raft.SnapshotMeta{Index: uint64(n - 100), Term: 1, Members: members}, wire.EncodeState(state)))
 				}
 				assert.NilError(b, s.Close())
 				for b.Loop() {
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -105,7 +105,7 @@
 	assert.NilError(t, err)
 	id, hard := s.Stored().Self.ID, raft.HardState{Term: 1, Vote: 2, Commit: 8}
 	fill(t, s, 1, 11)
-	assert.NilError(t, s.Snapshot(raft.SnapshotMeta{Index: 2, Term: 1, Members: members}, []byte("state")))
+	assert.NilError(t, s.SaveSnapshot(raft.SnapshotMeta{Index: 2, Term: 1, Members: members}, []byte("state")))
 	assert.NilError(t, s.Save(&hard, nil))
 	assert.NilError(t, s.Close())
 	for _, c := range cases {
@@ -179,10 +179,10 @@
 		isKind(t, s.Save(nil, batch), store.KindOutOfOrder)
 	}
 	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOutOfOrder)
-	isKind(t, s.Snapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOutOfOrder)
-	isKind(t, s.Install(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOutOfOrder)
-	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")))
-	assert.NilError(t, s.Install(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")), "a repeated call")
+	isKind(t, s.SaveSnapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOutOfOrder)
+	isKind(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOutOfOrder)
+	assert.NilError(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")))
+	assert.NilError(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")), "a repeated call")
 	assert.NilError(t, s.Save(nil, []raft.Entry{{Index: 10, Term: 2}}))
 	meta, data, err := s.ReadSnapshot()
 	assert.NilError(t, err)
@@ -197,7 +197,7 @@
 	s, err := open("d", disk, 0)
 	assert.NilError(f, err)
 	assert.NilError(f, s.Save(nil, []raft.Entry{{Index: 1, Term: 1, Data: []byte("a")}, {Index: 2, Term: 1}}))
-	assert.NilError(f, s.Snapshot(raft.SnapshotMeta{Index: 1, Term: 1, Members: members}, []byte("state")))
+	assert.NilError(f, s.SaveSnapshot(raft.SnapshotMeta{Index: 1, Term: 1, Members: members}, []byte("state")))
 	seed := disk.names[filepath.Join("d", firstSegment)].data
 	snapshot := "snap-00000000000000000001.bin"
 	f.Add(seed, disk.names[filepath.Join("d", snapshot)].data)
--- a/core/state/store/snapshot.go
+++ b/core/state/store/snapshot.go
@@ -90,10 +90,10 @@
 	return parseSnapshot(s.codec, name, b)
 }
 
-// Snapshot writes a snapshot of the member's own state and removes the segments
+// SaveSnapshot writes a snapshot of the member's own state and removes the segments
 // that it covers completely. The entry at the snapshot's index must be stored.
 // After an error the call may be repeated.
-func (s *Store[C, F]) Snapshot(meta raft.SnapshotMeta, data []byte) error {
+func (s *Store[C, F]) SaveSnapshot(meta raft.SnapshotMeta, data []byte) error {
 	if err := s.prepareWrite("snapshot"); err != nil {
 		return err
 	}
@@ -109,11 +109,11 @@
 	return s.removeReplaced()
 }
 
-// Install replaces the state and the log with a snapshot received from another
+// InstallSnapshot replaces the state and the log with a snapshot received from another
 // member. After an error the call may be repeated. If the error occurs before
 // the snapshot is durable, nothing has changed; after a later error the log is
 // empty, and its files are removed before the next write.
-func (s *Store[C, F]) Install(meta raft.SnapshotMeta, data []byte) error {
+func (s *Store[C, F]) InstallSnapshot(meta raft.SnapshotMeta, data []byte) error {
 	if err := s.prepareWrite("install"); err != nil {
 		return err
 	}
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -76,14 +76,14 @@
 		k := rapid.IntRange(1, len(r.log)).Draw(t, "snapshot")
 		out.snap = raft.SnapshotMeta{Index: r.log[k-1].Index, Term: r.log[k-1].Term, Members: members}
 		out.log, out.keptEntries = r.log[k:], 0
-		out.call = func() error { return r.store.Snapshot(out.snap, data) }
+		out.call = func() error { return r.store.SaveSnapshot(out.snap, data) }
 	case kind == 1:
 		// The term of the snapshot is new, so that the log has no entry of that
 		// term.
 		low := max(r.hard.Commit, r.snap.Index)
 		out.snap = raft.SnapshotMeta{Index: rapid.Uint64Range(low+1, r.last()+3).Draw(t, "index"), Term: term + 1, Members: members}
 		out.log, out.keptEntries = nil, 0
-		out.call = func() error { return r.store.Install(out.snap, data) }
+		out.call = func() error { return r.store.InstallSnapshot(out.snap, data) }
 	default:
 		if kind < 5 || term > r.hard.Term {
 			out.hard.Term, out.hard.Vote = term+1, raft.MemberID(kind)
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -27,8 +27,8 @@
 	SubjectRequest  Subject = "request"
 )
 
-// Process is the state of an entry process as known to the control group.
-type Process struct {
+// ProcessState is the state of an entry process as known to the control group.
+type ProcessState struct {
 	Name    model.Process
 	Zone    model.Zone
 	Version model.Version
@@ -47,7 +47,7 @@
 	Maintenance map[string]model.Maintenance
 	// Processes lists all configured entry processes, including those that have
 	// never reported.
-	Processes []Process
+	Processes []ProcessState
 }
 
 // Explanation describes what happened to a subject, which limits were reached,
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -31,7 +31,7 @@
 		Maintenance: map[string]model.Maintenance{
 			"kernel": {Name: "kernel", Selector: model.Selector{Zone: "a"}, DeclaredAt: 70_000, Deadline: 200_000},
 		},
-		Processes: []trail.Process{
+		Processes: []trail.ProcessState{
 			{Name: "e1", Zone: "a", DrainedVersion: 39, LastReport: now - clock.Second},
 			{Name: "e2", Zone: "a", DrainedVersion: 10, LastReport: 50_000},
 			{Name: "e3", Zone: "a", DrainedVersion: 40, LastReport: now},
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -18,7 +18,7 @@
 	}
 	state := CurrentState{
 		Now:       9000,
-		Processes: []Process{{Name: "e1"}, {Name: "e2"}},
+		Processes: []ProcessState{{Name: "e1"}, {Name: "e2"}},
 		Contracts: map[model.Customer]model.Contract{"acme": {Pools: []model.PoolShare{{Pool: "merge", Instances: 1}}}},
 		Instances: map[model.InstanceID]model.Instance{
 			"a": {ID: "a", Pool: "merge", MaintainedAt: 4000}, "b": {ID: "b", Pool: "merge"}, "c": {ID: "c", Pool: "portal", LostSince: 1},
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -96,7 +96,7 @@
 		next := e
 		next.Index++
 		m := raft.Message{
-			Kind: raft.MsgSnapshot, From: 1, To: 2, Term: 3, Index: 4, LogTerm: 5, Commit: 6, Reject: true, Hint: 7, Context: 8,
+			Kind: raft.MsgSnapshot, From: 1, To: 2, Term: 3, Index: 4, LogTerm: 5, Commit: 6, Reject: true, Hint: 7, HeartbeatRound: 8,
 			Offset: 9, Chunk: []byte{1}, Last: true,
 			Snapshot: raft.SnapshotMeta{Index: 1, Term: 2, Members: []raft.Member{{ID: 3, Voter: true}}},
 		}
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -93,7 +93,7 @@
 		o.Maintenance[m.Name] = m
 	}
 	for _, p := range s.Processes {
-		o.Processes = append(o.Processes, trail.Process{Name: p.Name, Zone: p.Zone, DrainedVersion: p.DrainedVersion, LastReport: p.LastReportAt})
+		o.Processes = append(o.Processes, trail.ProcessState{Name: p.Name, Zone: p.Zone, DrainedVersion: p.DrainedVersion, LastReport: p.LastReportAt})
 	}
 	return o
 }
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -213,7 +213,7 @@
 	}
 	for _, m := range v.Entries {
 		s := seen[m.Name]
-		x.Processes = append(x.Processes, trail.Process{
+		x.Processes = append(x.Processes, trail.ProcessState{
 			Name: m.Name, Zone: m.Zone, Version: s.Version, DrainedVersion: s.DrainedVersion, LastReport: s.LastReportAt,
 		})
 	}
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -93,7 +93,7 @@
 	stored.Hard = raft.HardState{Term: initialIndex, Commit: initialIndex}
 	s := fleet.New()
 	s.Index = initialIndex
-	err := f.ctrl.disk.Install(stored.Snapshot, codec.Codec{}.EncodeState(s))
+	err := f.ctrl.disk.InstallSnapshot(stored.Snapshot, codec.Codec{}.EncodeState(s))
 	if err == nil {
 		err = f.ctrl.disk.Save(&stored.Hard, nil)
 	}
