--- a/core/state/raft/checks_test.go
+++ b/core/state/raft/checks_test.go
@@ -2,10 +2,10 @@
 
 // check verifies election safety, leader completeness and a commit index that
 // never decreases for one host. It runs after each event.
-func (w *world) check(h *host) {
+func (sim *simulation) check(h *host) {
 	n := h.node
 	if n.Commit() < h.commit || n.Commit() > n.log.last() {
-		w.failf("host %d: the commit index changed from %d to %d with last index %d; it must not decrease or exceed the last index", h.self.ID, h.commit, n.Commit(), n.log.last())
+		sim.failf("host %d: the commit index changed from %d to %d with last index %d; it must not decrease or exceed the last index", h.self.ID, h.commit, n.Commit(), n.log.last())
 	}
 	grown := n.Commit() > h.commit
 	h.commit = n.Commit()
@@ -13,15 +13,15 @@
 		return
 	}
 	if grown {
-		w.checkCommit(n)
+		sim.checkCommit(n)
 	}
-	leader, known := w.leaders[n.Term()]
+	leader, known := sim.leaders[n.Term()]
 	if known && leader != h.self.ID {
-		w.failf("term %d has two leaders, %d and %d", n.Term(), leader, h.self.ID)
+		sim.failf("term %d has two leaders, %d and %d", n.Term(), leader, h.self.ID)
 	}
 	if !known {
-		w.leaders[n.Term()] = h.self.ID
-		w.checkComplete(n)
+		sim.leaders[n.Term()] = h.self.ID
+		sim.checkComplete(n)
 	}
 }
 
@@ -29,44 +29,44 @@
 // must be of the leader's term and on the disks of a quorum, and at most one
 // membership change may be uncommitted. Lost disks count as having the entry,
 // because they may have acknowledged it before they were lost.
-func (w *world) checkCommit(n *Node) {
+func (sim *simulation) checkCommit(n *Node) {
 	if n.termAt(n.commit) != n.term {
-		w.failf("leader %d of term %d committed entry %d of term %d", n.self, n.term, n.commit, n.termAt(n.commit))
+		sim.failf("leader %d of term %d committed entry %d of term %d", n.self, n.term, n.commit, n.termAt(n.commit))
 	}
 	if !n.hasQuorum(func(id MemberID) bool {
-		h := w.byID(id)
+		h := sim.byID(id)
 		return h == nil || h.disk.last() >= n.commit
 	}) {
-		w.failf("leader %d committed entry %d without a quorum of disks", n.self, n.commit)
+		sim.failf("leader %d committed entry %d without a quorum of disks", n.self, n.commit)
 	}
 	if k := len(n.memberLists); k > 1 && n.memberLists[k-2].index > n.commit {
-		w.failf("leader %d has two uncommitted membership changes", n.self)
+		sim.failf("leader %d has two uncommitted membership changes", n.self)
 	}
 }
 
 // checkHard fails if a hard state to be written has a commit index whose entry a
 // crash during the write could lose or leave with its old content.
-func (w *world) checkHard(h *host, hard *HardState) {
+func (sim *simulation) checkHard(h *host, hard *HardState) {
 	if hard == nil || hard.Commit <= h.disk.snap.Index {
 		return
 	}
 	if hard.Commit > h.disk.last() {
-		w.failf("host %d writes commit index %d, but its disk ends at entry %d", h.self.ID, hard.Commit, h.disk.last())
+		sim.failf("host %d writes commit index %d, but its disk ends at entry %d", h.self.ID, hard.Commit, h.disk.last())
 		return
 	}
 	t, ok := h.node.log.term(hard.Commit)
 	if ok && h.disk.entries[hard.Commit-h.disk.snap.Index-1].Term != t {
-		w.failf("host %d writes commit index %d before that entry is on disk", h.self.ID, hard.Commit)
+		sim.failf("host %d writes commit index %d before that entry is on disk", h.self.ID, hard.Commit)
 	}
 }
 
 // checkComplete fails if a new leader does not have an entry that was committed
 // in an earlier term.
-func (w *world) checkComplete(n *Node) {
-	for _, e := range w.committed {
+func (sim *simulation) checkComplete(n *Node) {
+	for _, e := range sim.committed {
 		t, ok := n.log.term(e.Index)
 		if e.Term < n.Term() && e.Index >= n.log.base && (!ok || t != e.Term) {
-			w.failf("leader %d of term %d lacks entry %d of term %d", n.self, n.Term(), e.Index, e.Term)
+			sim.failf("leader %d of term %d lacks entry %d of term %d", n.self, n.Term(), e.Index, e.Term)
 			return
 		}
 	}
@@ -74,30 +74,30 @@
 
 // checkSynced fails if a message is sent before the term, entries or vote that it
 // reports are on disk.
-func (w *world) checkSynced(h *host, m Message) {
+func (sim *simulation) checkSynced(h *host, m Message) {
 	switch {
 	case m.Term > h.disk.hard.Term && m.Kind != MsgPreVote && m.Kind != MsgPreVoteReply:
-		w.failf("host %d sent term %d, but its disk has term %d", h.self.ID, m.Term, h.disk.hard.Term)
+		sim.failf("host %d sent term %d, but its disk has term %d", h.self.ID, m.Term, h.disk.hard.Term)
 	case m.Kind == MsgAppendReply && !m.Reject && m.Term == h.disk.hard.Term && m.Index > h.disk.last():
-		w.failf("host %d acknowledged entry %d, but its disk ends at entry %d", h.self.ID, m.Index, h.disk.last())
+		sim.failf("host %d acknowledged entry %d, but its disk ends at entry %d", h.self.ID, m.Index, h.disk.last())
 	case m.Kind == MsgVoteReply && !m.Reject && m.Term == h.disk.hard.Term && m.To != h.disk.hard.Vote:
-		w.failf("host %d voted for %d with a vote for %d on disk", h.self.ID, m.To, h.disk.hard.Vote)
+		sim.failf("host %d voted for %d with a vote for %d on disk", h.self.ID, m.To, h.disk.hard.Vote)
 	}
 }
 
 // checkLogs fails if two logs have the same entry at an index and differ below
 // it (the log matching property).
-func (w *world) checkLogs() {
-	for i, a := range w.hosts {
-		for _, b := range w.hosts[:i] {
+func (sim *simulation) checkLogs() {
+	for i, a := range sim.hosts {
+		for _, b := range sim.hosts[:i] {
 			if a.node != nil && b.node != nil {
-				w.checkPair(&a.node.log, &b.node.log)
+				sim.checkPair(&a.node.log, &b.node.log)
 			}
 		}
 	}
 }
 
-func (w *world) checkPair(a, b *entryLog) {
+func (sim *simulation) checkPair(a, b *entryLog) {
 	same := false
 	for i := min(a.last(), b.last()); i > max(a.base, b.base); i-- {
 		x, y := a.slice(i, i)[0], b.slice(i, i)[0]
@@ -105,7 +105,7 @@
 			same = true
 		}
 		if same && (x.Term != y.Term || string(x.Data) != string(y.Data) || x.Kind != y.Kind) {
-			w.failf("two logs agree above index %d and differ at that index", i)
+			sim.failf("two logs agree above index %d and differ at that index", i)
 			return
 		}
 	}
@@ -113,19 +113,19 @@
 
 // converged reports whether the voters are exactly the wanted hosts and all of
 // them have applied the same entries and have the same value.
-func (w *world) converged() bool {
-	l := w.leader()
+func (sim *simulation) converged() bool {
+	l := sim.leader()
 	if l == nil || l.node.MembersPending() || l.applied != l.node.log.last() {
 		return false
 	}
 	voters := 0
 	for _, m := range l.node.Members() {
-		if h := w.byID(m.ID); !m.Voter || h == nil || !h.wanted {
+		if h := sim.byID(m.ID); !m.Voter || h == nil || !h.wanted {
 			return false
 		}
 		voters++
 	}
-	for _, h := range w.hosts {
+	for _, h := range sim.hosts {
 		if h.wanted {
 			voters--
 			if h.node == nil || h.applied != l.applied || h.value != l.value {
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -34,9 +34,10 @@
 	n.resetElectionTimer()
 }
 
-// inLeaderLease reports whether this member leads or received a message from a
-// leader within the minimum election timeout. It then ignores vote requests, so
-// that a member that was partitioned or removed cannot depose the leader.
+// inLeaderLease reports whether this member leads, or knows a leader and received
+// a message from it within the minimum election timeout. This member then grants
+// no votes, so that a member that was partitioned or removed cannot depose the
+// leader.
 func (n *Node) inLeaderLease() bool {
 	if n.role == RoleLeader {
 		return true
@@ -87,8 +88,8 @@
 	n.send(Message{Kind: MsgPreVoteReply, To: m.From, Term: term, Reject: !granted})
 }
 
-// onVote grants a vote unless this member knows a leader of the term or has voted
-// for another candidate in it.
+// onVote grants a vote to a candidate for which this member may vote, unless it
+// has voted for another candidate of the term or knows the leader of the term.
 func (n *Node) onVote(m Message) {
 	voteAvailable := n.vote == m.From || (n.vote == 0 && n.leader == 0)
 	granted := voteAvailable && n.role == RoleFollower && n.canVoteFor(m)
@@ -155,8 +156,8 @@
 	return yes > voters/2
 }
 
-// recentlyActive reports whether a message from the member was received within
-// the election timeout.
+// recentlyActive reports whether the member has replied within the election
+// timeout, or the leader began to track it within that time.
 func (n *Node) recentlyActive(id MemberID) bool {
 	if id == n.self {
 		return true
--- a/core/state/raft/errors.go
+++ b/core/state/raft/errors.go
@@ -13,7 +13,8 @@
 	// membership change is not committed, the leader has not committed an entry
 	// of its own term, or the member to promote has not caught up.
 	KindPending
-	// KindInvalid means that the request contradicts the state of the group.
+	// KindInvalid means that the request or message contradicts the state of the
+	// group.
 	KindInvalid
 )
 
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -13,11 +13,11 @@
 	base     uint64
 	baseTerm uint64
 	entries  []Entry
-	// firstUnsaved is the first index that no Output has contained; at most
-	// last+1.
-	firstUnsaved uint64
-	// lastStable is the last index that the caller has synced; below
-	// firstUnsaved.
+	// nextOutput is the index of the first entry that no Output has contained;
+	// last+1 if there is none.
+	nextOutput uint64
+	// lastStable is the index of the last entry that the caller has synced; below
+	// nextOutput.
 	lastStable uint64
 }
 
@@ -40,7 +40,7 @@
 	return l.entries[i-l.base-1].Term, true
 }
 
-// slice returns the entries from index from to index to, both included. from
+// slice returns the entries whose index is at least from and at most to. from
 // must be above the base.
 func (l *entryLog) slice(from, to uint64) []Entry {
 	if from > to {
@@ -49,8 +49,8 @@
 	return l.entries[from-l.base-1 : to-l.base : to-l.base]
 }
 
-// sliceMaxBytes returns entries starting at index from whose total size is at
-// most maxBytes. It returns at least one entry, if there is one, even when it
+// sliceMaxBytes returns the entries that start at index from and have a total
+// size of at most maxBytes. It returns the first of them even if that one alone
 // is larger.
 func (l *entryLog) sliceMaxBytes(from uint64, maxBytes int) []Entry {
 	size, to := 0, from-1
@@ -73,7 +73,7 @@
 	}
 	keep := from - l.base - 1
 	l.entries = l.entries[:keep:keep]
-	l.firstUnsaved = min(l.firstUnsaved, from)
+	l.nextOutput = min(l.nextOutput, from)
 	l.lastStable = min(l.lastStable, from-1)
 }
 
@@ -90,19 +90,22 @@
 // reset empties the log and sets its base to the last entry of an installed
 // snapshot.
 func (l *entryLog) reset(index, term uint64) {
-	*l = entryLog{base: index, baseTerm: term, firstUnsaved: index + 1, lastStable: index}
+	*l = entryLog{base: index, baseTerm: term, nextOutput: index + 1, lastStable: index}
 }
 
 // upToDate reports whether a log whose last entry has the given index and term
-// is at least as up to date as this log, and hence holds every entry that may
-// be committed in this log.
+// is at least as up to date as this log. A candidate whose log is at least as up
+// to date as those of a quorum has every committed entry.
 func (l *entryLog) upToDate(index, term uint64) bool {
 	return term > l.lastTerm() || (term == l.lastTerm() && index >= l.last())
 }
 
 // findConflictByTerm returns the largest index at or below index whose entry has
-// at most the given term, and the term of that entry. Two logs cannot agree above
-// it, so that one exchange of messages skips a whole term of conflicting entries.
+// at most the given term, and the term of that entry, or 0 if the entry was
+// compacted. If the entry at index of another log has at most the given term, the
+// two logs differ from there down to the returned index, because terms never
+// decrease within a log. One exchange of messages therefore skips all conflicting
+// entries of a term.
 func (l *entryLog) findConflictByTerm(index, term uint64) (uint64, uint64) {
 	for i := min(index, l.last()); ; i-- {
 		t, ok := l.term(i)
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -6,9 +6,9 @@
 	"camphorridge/core/state/clock"
 )
 
-// maxPromotionLag is the number of committed entries that a member may lack and
-// still count as caught up: about as many as are added during one round trip
-// under load.
+// maxPromotionLag is the maximum number of committed entries that a member may
+// lack and still count as caught up: about as many as are appended during one
+// round trip under load.
 const maxPromotionLag = 64
 
 // memberList is a member list and the index of the log entry that set it.
@@ -43,8 +43,8 @@
 	Member Member
 	// Match is the index of the last entry known to be on the member's disk.
 	Match uint64
-	// RecentlyActive is true when a message from the member was received within
-	// the election timeout.
+	// RecentlyActive is true if the member has replied within the election
+	// timeout, or if the leader began to track it within that time.
 	RecentlyActive bool
 	// CaughtUp is true when the member may be promoted.
 	CaughtUp bool
@@ -188,8 +188,8 @@
 	return listed, voter
 }
 
-// syncPeers adds a progress for every other current member that has none, and
-// removes those of former members.
+// syncPeers starts to track every other current member that is not yet in peers,
+// and removes former members from peers.
 func (n *Node) syncPeers() {
 	for _, m := range n.Members() {
 		if m.ID != n.self && n.peers[m.ID] == nil {
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -12,7 +12,7 @@
 	cfg    Config
 	self   MemberID
 	random *rand.Rand
-	// now is the largest time passed to any call; it never decreases.
+	// now is the latest time passed to any call; it never decreases.
 	now clock.Millis
 
 	term uint64
@@ -42,8 +42,9 @@
 
 	// peers is set on the leader and has an item for every other current member.
 	peers map[MemberID]*progress
-	// heartbeatRound is the number of the last heartbeat round that confirms
-	// reads; it never decreases while the member leads.
+	// heartbeatRound is the number of the current heartbeat round, whose
+	// acknowledgement by a quorum confirms reads. It never decreases while the
+	// member leads.
 	heartbeatRound uint64
 	// roundRequested is set when pending reads need another heartbeat round.
 	roundRequested bool
@@ -88,11 +89,11 @@
 	}
 	n.log.reset(stored.Snapshot.Index, stored.Snapshot.Term)
 	n.appendEntries(stored.Entries)
-	n.log.firstUnsaved = n.log.last() + 1
+	n.log.nextOutput = n.log.last() + 1
 	n.log.lastStable = n.log.last()
 	n.commit = min(max(stored.Hard.Commit, stored.Snapshot.Index), n.log.last())
 	// A crash may have preserved entries of a term but not the hard state that
-	// was written with them. No vote of that term has been sent by this member.
+	// was written with them. This member has then sent no vote in that term.
 	if t := n.log.lastTerm(); t > n.term {
 		n.term, n.vote = t, 0
 	}
@@ -201,8 +202,10 @@
 	return n.dispatch(m)
 }
 
-// adoptTerm adopts the higher term of a message, if the message proves that the
-// term has started. It returns false if the message must be dropped.
+// adoptTerm adopts the higher term of a message. It does not adopt the term of a
+// pre-vote request or a granted pre-vote, because that term has not started. It
+// returns false if the message must be dropped, as a vote request is while the
+// leader is active.
 func (n *Node) adoptTerm(m Message) bool {
 	switch m.Kind {
 	case MsgPreVote:
@@ -224,8 +227,8 @@
 }
 
 // rejectStale replies to a message of an earlier term, so that its sender adopts
-// the current term. Without the reply to a leader, a member that incremented its
-// term alone would ignore the leader forever.
+// the current term. Without a reply to the leader, a member whose term is ahead of
+// the leader's would ignore the leader forever.
 func (n *Node) rejectStale(m Message) {
 	switch m.Kind {
 	case MsgPreVote:
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -9,32 +9,32 @@
 	"camphorridge/core/state/clock"
 )
 
-// newConverged returns a world of three voters that have applied five writes, and
-// the leader.
-func newConverged(t *testing.T, seed uint64) (*world, *host) {
+// newConverged returns a simulation of three voters that have applied five writes,
+// and the leader.
+func newConverged(t *testing.T, seed uint64) (*simulation, *host) {
 	t.Helper()
-	w := newWorld(seed, 3, 3)
-	w.until(t, func() bool { return w.leader() != nil })
+	sim := newSimulation(seed, 3, 3)
+	sim.until(t, func() bool { return sim.leader() != nil })
 	for i := range 5 {
-		w.submit(w.leader(), request{kind: opWrite, new: int64(i + 1)})
-		w.run(20)
+		sim.submit(sim.leader(), request{kind: opWrite, new: int64(i + 1)})
+		sim.run(20)
 	}
-	w.until(t, w.converged)
-	return w, w.leader()
+	sim.until(t, sim.converged)
+	return sim, sim.leader()
 }
 
-func (w *world) until(t *testing.T, f func() bool) {
+func (sim *simulation) until(t *testing.T, f func() bool) {
 	t.Helper()
 	for i := 0; !f(); i++ {
-		w.run(5)
-		assert.NilError(t, w.err)
+		sim.run(5)
+		assert.NilError(t, sim.err)
 		assert.Assert(t, i < 2000, "the condition was not met within 10 s of simulated time")
 	}
 }
 
-func (w *world) advance(d clock.Millis) {
-	for end := w.now + d; w.now < end; {
-		w.run(5)
+func (sim *simulation) advance(d clock.Millis) {
+	for end := sim.now + d; sim.now < end; {
+		sim.run(5)
 	}
 }
 
@@ -42,23 +42,23 @@
 // is partitioned and deposes the leader when it reconnects.
 func TestIsolatedMember(t *testing.T) {
 	for seed := range uint64(50) {
-		w, l := newConverged(t, seed)
+		sim, l := newConverged(t, seed)
 		term := l.node.Term()
-		isolated := w.hosts[0]
+		isolated := sim.hosts[0]
 		if isolated == l {
-			isolated = w.hosts[1]
+			isolated = sim.hosts[1]
 		}
 		isolated.partition = 1
-		w.advance(60_000)
+		sim.advance(60_000)
 		assert.Equal(t, isolated.node.Term(), term)
 		isolated.partition = 0
-		w.advance(2000)
-		assert.Equal(t, w.leader(), l)
-		for _, h := range w.hosts {
+		sim.advance(2000)
+		assert.Equal(t, sim.leader(), l)
+		for _, h := range sim.hosts {
 			assert.Equal(t, h.node.Term(), term)
 			assert.Equal(t, h.node.Leader(), l.self.ID)
 		}
-		assert.NilError(t, w.err)
+		assert.NilError(t, sim.err)
 	}
 }
 
@@ -67,23 +67,23 @@
 // partitioned leader that never steps down.
 func TestStaleLeaderRead(t *testing.T) {
 	for seed := range uint64(50) {
-		w, old := newConverged(t, seed)
+		sim, old := newConverged(t, seed)
 		old.frozen = true
-		w.until(t, func() bool { return w.leader() != old })
-		w.submit(w.leader(), request{kind: opWrite, new: 99})
-		w.advance(100)
-		w.submit(old, request{kind: opRead})
-		read := len(w.history) - 1
-		w.advance(500)
-		assert.Equal(t, w.history[read].Return, noReturn)
-		assert.Assert(t, w.linearizable())
+		sim.until(t, func() bool { return sim.leader() != old })
+		sim.submit(sim.leader(), request{kind: opWrite, new: 99})
+		sim.advance(100)
+		sim.submit(old, request{kind: opRead})
+		read := len(sim.history) - 1
+		sim.advance(500)
+		assert.Equal(t, sim.history[read].Return, noReturn)
+		assert.Assert(t, sim.linearizable())
 
-		w.until(t, w.converged)
-		l := w.leader()
+		sim.until(t, sim.converged)
+		l := sim.leader()
 		l.partition = 1
-		w.advance(2 * w.cfg.ElectionTimeout)
+		sim.advance(2 * sim.cfg.ElectionTimeout)
 		assert.Equal(t, l.node.Role(), RoleFollower)
-		assert.Assert(t, l.node.ReadIndex(1, w.now) != nil)
+		assert.Assert(t, l.node.ReadIndex(1, sim.now) != nil)
 	}
 }
 
@@ -92,19 +92,19 @@
 // of the first.
 func TestSecondLoss(t *testing.T) {
 	for seed := range uint64(50) {
-		w, _ := newConverged(t, seed)
-		for i, h := range w.hosts {
-			w.wipe(h)
-			w.until(t, func() bool {
-				w.reconcile()
-				return w.converged()
+		sim, _ := newConverged(t, seed)
+		for i, h := range sim.hosts {
+			sim.wipe(h)
+			sim.until(t, func() bool {
+				sim.reconcile()
+				return sim.converged()
 			})
-			w.submit(w.leader(), request{kind: opWrite, new: int64(100 + i)})
-			w.until(t, func() bool { return w.history[len(w.history)-1].Return != noReturn })
+			sim.submit(sim.leader(), request{kind: opWrite, new: int64(100 + i)})
+			sim.until(t, func() bool { return sim.history[len(sim.history)-1].Return != noReturn })
 		}
-		w.recover()
-		assert.NilError(t, w.err)
-		assert.Equal(t, w.leader().value, int64(102))
+		sim.recover()
+		assert.NilError(t, sim.err)
+		assert.Equal(t, sim.leader().value, int64(102))
 	}
 }
 
@@ -165,22 +165,22 @@
 // permanently when one member is lost, because a leader that is the only member
 // to have the entry of its own removal neither campaigns nor votes.
 func TestRemovedLeader(t *testing.T) {
-	w := newWorld(3, 4, 4)
-	w.until(t, w.converged)
-	l := w.leader()
+	sim := newSimulation(3, 4, 4)
+	sim.until(t, sim.converged)
+	l := sim.leader()
 	l.partition = 1
-	_, _, err := l.node.ChangeMembers(MemberChange{Kind: RemoveMember, Member: l.self}, w.now)
+	_, _, err := l.node.ChangeMembers(MemberChange{Kind: RemoveMember, Member: l.self}, sim.now)
 	assert.NilError(t, err)
-	lost := w.hosts[0]
+	lost := sim.hosts[0]
 	if lost == l {
-		lost = w.hosts[1]
+		lost = sim.hosts[1]
 	}
-	w.crash(lost)
-	w.advance(500)
+	sim.crash(lost)
+	sim.advance(500)
 	assert.Assert(t, l.node.Role() != RoleLeader)
 	l.partition = 0
-	w.until(t, func() bool {
-		n := w.leader()
+	sim.until(t, func() bool {
+		n := sim.leader()
 		return n != nil && len(n.node.Members()) == 3 && !n.node.MembersPending()
 	})
 }
@@ -189,10 +189,10 @@
 // promotion of a member that has not caught up, and the removal of the last
 // voter.
 func TestMembershipRules(t *testing.T) {
-	w := newWorld(1, 1, 1)
-	w.until(t, func() bool { return w.leader() != nil })
-	w.advance(50)
-	n := w.leader().node
+	sim := newSimulation(1, 1, 1)
+	sim.until(t, func() bool { return sim.leader() != nil })
+	sim.advance(50)
+	n := sim.leader().node
 	for _, c := range []struct {
 		change MemberChange
 		kind   Kind
@@ -204,17 +204,17 @@
 		{MemberChange{AddMember, Member{ID: 5, Voter: true}}, 0, false},
 		{MemberChange{AddMember, Member{ID: 6}}, KindPending, true},
 	} {
-		_, _, err := n.ChangeMembers(c.change, w.now)
+		_, _, err := n.ChangeMembers(c.change, sim.now)
 		var e *Error
 		assert.Equal(t, errors.As(err, &e), c.fails)
 		if c.fails {
 			assert.Equal(t, e.Kind, c.kind)
 		}
 	}
-	w.advance(50)
+	sim.advance(50)
 	m, listed := n.member(5)
 	assert.Assert(t, listed && !m.Voter)
-	_, _, err := n.ChangeMembers(MemberChange{PromoteMember, Member{ID: 5}}, w.now)
+	_, _, err := n.ChangeMembers(MemberChange{PromoteMember, Member{ID: 5}}, sim.now)
 	var e *Error
 	assert.Assert(t, errors.As(err, &e) && e.Kind == KindPending)
 }
--- a/core/state/raft/output.go
+++ b/core/state/raft/output.go
@@ -16,7 +16,7 @@
 	}
 	n.sendLeaderMessages()
 	out := Output{
-		Append:       n.log.slice(n.log.firstUnsaved, n.log.last()),
+		Append:       n.log.slice(n.log.nextOutput, n.log.last()),
 		Install:      n.install,
 		InstallData:  n.installData,
 		Messages:     n.messages,
@@ -25,13 +25,14 @@
 		NeedSnapshot: n.needSnapshot,
 	}
 	hard := n.hardState()
-	// A change of the commit index alone is written with the next entries: after
-	// a restart the member receives the commit index from the leader again.
+	// A change of the commit index alone is not written until the next change of
+	// the term, the vote or the entries: after a restart the member receives the
+	// commit index from the leader again.
 	if hard.Term != n.lastOutputHard.Term || hard.Vote != n.lastOutputHard.Vote || (len(out.Append) > 0 && hard != n.lastOutputHard) {
 		out.Hard = &hard
 		n.lastOutputHard = hard
 	}
-	n.log.firstUnsaved = n.log.last() + 1
+	n.log.nextOutput = n.log.last() + 1
 	n.applied = n.commit
 	n.messages, n.readyReads, n.needSnapshot = nil, nil, nil
 	n.install, n.installData = nil, nil
@@ -41,8 +42,8 @@
 
 // hardState returns the hard state to write. Its commit index covers only
 // entries that have been synced before: a crash may preserve the new hard state
-// but lose the entries or the snapshot written with it, and the entries that
-// they would have replaced must not count as committed then.
+// but lose the entries or the snapshot written with it. The entries that they
+// were to replace must not count as committed after such a crash.
 func (n *Node) hardState() HardState {
 	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.lastStable)}
 	if n.install != nil {
@@ -58,7 +59,7 @@
 		return
 	}
 	n.awaitingPersisted = false
-	n.log.lastStable = n.log.firstUnsaved - 1
+	n.log.lastStable = n.log.nextOutput - 1
 	if n.role == RoleLeader {
 		n.advanceCommit()
 	}
--- a/core/state/raft/reads.go
+++ b/core/state/raft/reads.go
@@ -14,9 +14,9 @@
 }
 
 // ReadIndex requests a confirmation that a linearizable read may be answered from
-// the local state. It is returned with the same context in the Reads of a later
-// Output. Pending reads are dropped when the leader steps down. The error has
-// KindNotLeader.
+// the local state. The Reads of a later Output contain the confirmation with the
+// same context. Pending reads are dropped when the leader steps down. The error
+// has KindNotLeader.
 func (n *Node) ReadIndex(context uint64, now clock.Millis) error {
 	n.advanceClock(now)
 	if n.role != RoleLeader {
@@ -48,9 +48,9 @@
 	}
 }
 
-// confirmReads moves the reads whose round a quorum has acknowledged to the
-// next Output. Rounds are in ascending order, so that the first unconfirmed read
-// ends the search.
+// confirmReads moves the reads whose round a quorum has acknowledged to the next
+// Output. It stops at the first unconfirmed read, because later reads have the
+// same round, a later one or none.
 func (n *Node) confirmReads() {
 	for len(n.pendingReads) > 0 {
 		r := n.pendingReads[0]
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -14,8 +14,8 @@
 type peerState int
 
 const (
-	// stateProbe means that the last index at which the logs agree is not known;
-	// one append is sent at a time.
+	// stateProbe means that the leader does not know the last index at which the
+	// member's log agrees with its own; it sends one append at a time.
 	stateProbe peerState = iota
 	// stateReplicate means that appends are sent without waiting for the replies
 	// to earlier ones.
@@ -41,7 +41,7 @@
 	// sendEmpty requests an append even if it is empty, to detect a lost append.
 	sendEmpty bool
 	// lastContact is the time of the last reply from the member; initially the
-	// time at which it was added to peers.
+	// time at which the leader began to track it.
 	lastContact clock.Millis
 	// ackedRound is the last heartbeat round that the member acknowledged.
 	ackedRound uint64
@@ -215,7 +215,7 @@
 }
 
 // onHeartbeatReply records the acknowledged heartbeat round. It allows another
-// append to the member, because an earlier append or its reply may be lost.
+// append to the member, because an earlier append or its reply may have been lost.
 func (n *Node) onHeartbeatReply(m Message, p *progress) {
 	p.ackedRound = max(p.ackedRound, m.HeartbeatRound)
 	p.paused = false
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -21,7 +21,7 @@
 	schedulesEnv = "CAMPHORRIDGE_RAFT_SCHEDULES"
 )
 
-// TestSchedules guards against violations of the invariants that world checks
+// TestSchedules guards against violations of the invariants that a simulation checks,
 // under message loss, delay, reordering and duplication, partitions, crashes,
 // lost disks and membership changes, and against a group that does not recover
 // when the faults end.
@@ -35,14 +35,14 @@
 	for range runtime.GOMAXPROCS(0) {
 		wait.Go(func() {
 			for seed := next.Add(1); seed <= int64(count) && failed.Load() < 5; seed = next.Add(1) {
-				w := runSchedule(uint64(seed))
-				ops.Add(int64(len(w.history)))
-				terms.Add(int64(len(w.leaders)))
-				installs.Add(int64(w.installs))
-				wipes.Add(int64(w.wipes))
-				if w.err != nil {
+				sim := runSchedule(uint64(seed))
+				ops.Add(int64(len(sim.history)))
+				terms.Add(int64(len(sim.leaders)))
+				installs.Add(int64(sim.installs))
+				wipes.Add(int64(sim.wipes))
+				if sim.err != nil {
 					failed.Add(1)
-					t.Errorf("seed %d: %v", seed, w.err)
+					t.Errorf("seed %d: %v", seed, sim.err)
 				}
 			}
 		})
@@ -58,64 +58,64 @@
 
 // runSchedule runs one schedule: a phase with random faults and requests, and
 // then a recovery without faults.
-func runSchedule(seed uint64) *world {
-	w := newWorld(seed, 5, 3+2*int(seed%2))
-	w.lossPercent, w.duplicatePercent, w.maxDelay = w.random.IntN(20), w.random.IntN(20), 2+w.random.IntN(40)
-	for i := 0; i < 250 && w.err == nil; i++ {
-		w.run(clock.Millis(1 + w.random.IntN(15)))
-		w.injectFault()
+func runSchedule(seed uint64) *simulation {
+	sim := newSimulation(seed, 5, 3+2*int(seed%2))
+	sim.lossPercent, sim.duplicatePercent, sim.maxDelay = sim.random.IntN(20), sim.random.IntN(20), 2+sim.random.IntN(40)
+	for i := 0; i < 250 && sim.err == nil; i++ {
+		sim.run(clock.Millis(1 + sim.random.IntN(15)))
+		sim.injectFault()
 		if i%8 == 0 {
-			w.reconcile()
+			sim.reconcile()
 		}
 		if i%50 == 0 {
-			w.checkLogs()
+			sim.checkLogs()
 		}
 	}
-	w.recover()
-	return w
+	sim.recover()
+	return sim
 }
 
 // recover ends all faults. It fails if the group does not converge within 20
 // seconds of simulated time, does not answer a read afterwards, or has a history
 // that is not linearizable.
-func (w *world) recover() {
-	w.lossPercent, w.duplicatePercent, w.maxDelay = 0, 0, 5
-	for _, h := range w.hosts {
+func (sim *simulation) recover() {
+	sim.lossPercent, sim.duplicatePercent, sim.maxDelay = 0, 0, 5
+	for _, h := range sim.hosts {
 		h.partition, h.slowDisk, h.frozen = 0, false, false
 		if h.node == nil {
-			w.start(h)
+			sim.start(h)
 		}
 	}
-	for i := 0; i < 2000 && w.err == nil && (i == 0 || !w.converged()); i++ {
-		w.run(10)
-		w.reconcile()
+	for i := 0; i < 2000 && sim.err == nil && (i == 0 || !sim.converged()); i++ {
+		sim.run(10)
+		sim.reconcile()
 	}
-	if w.err == nil && !w.converged() {
-		w.failf("the group did not converge")
+	if sim.err == nil && !sim.converged() {
+		sim.failf("the group did not converge")
 	}
-	w.checkLogs()
-	if w.err != nil {
+	sim.checkLogs()
+	if sim.err != nil {
 		return
 	}
-	if !w.readBack() {
-		w.failf("the last read was not answered")
+	if !sim.readBack() {
+		sim.failf("the last read was not answered")
 	}
-	if !w.linearizable() {
-		w.failf("the history is not linearizable")
+	if !sim.linearizable() {
+		sim.failf("the history is not linearizable")
 	}
 }
 
 // readBack repeats a read until the group answers it. A leader that was
 // partitioned before the recovery may step down and drop the first reads.
-func (w *world) readBack() bool {
-	for try := 0; try < 40 && w.err == nil; try++ {
-		if l := w.leader(); l != nil {
-			w.submit(l, request{kind: opRead})
+func (sim *simulation) readBack() bool {
+	for try := 0; try < 40 && sim.err == nil; try++ {
+		if l := sim.leader(); l != nil {
+			sim.submit(l, request{kind: opRead})
 		}
 		for range 5 {
-			w.run(10)
+			sim.run(10)
 		}
-		if last := len(w.history) - 1; last >= 0 && w.history[last].Return != noReturn && w.history[last].Input.(request).kind == opRead {
+		if last := len(sim.history) - 1; last >= 0 && sim.history[last].Return != noReturn && sim.history[last].Input.(request).kind == opRead {
 			return true
 		}
 	}
@@ -123,29 +123,29 @@
 }
 
 // injectFault performs at most one random request, fault or end of a fault.
-func (w *world) injectFault() {
-	h := w.hosts[w.random.IntN(len(w.hosts))]
-	switch p := w.random.IntN(200); {
+func (sim *simulation) injectFault() {
+	h := sim.hosts[sim.random.IntN(len(sim.hosts))]
+	switch p := sim.random.IntN(200); {
 	case p < 50:
-		w.submitRandom(h)
+		sim.submitRandom(h)
 	case p < 54 && h.node != nil:
-		w.crash(h)
+		sim.crash(h)
 	case p < 64 && h.node == nil:
-		w.start(h)
+		sim.start(h)
 	case p < 66:
-		for _, x := range w.hosts {
-			x.partition = w.random.IntN(2)
+		for _, x := range sim.hosts {
+			x.partition = sim.random.IntN(2)
 		}
 	case p < 70:
-		for _, x := range w.hosts {
+		for _, x := range sim.hosts {
 			x.partition = 0
 		}
 	case p < 72:
 		h.slowDisk = !h.slowDisk
-	case p < 74 && w.canLoseDisk(h):
-		w.wipe(h)
+	case p < 74 && sim.canLoseDisk(h):
+		sim.wipe(h)
 	case p < 76:
-		w.toggleWanted(h)
+		sim.toggleWanted(h)
 	case p < 78 && h.node != nil:
 		h.frozen = true
 	case p < 84:
@@ -155,36 +155,36 @@
 
 // submitRandom submits a random request, in most cases to the current leader and
 // otherwise to the given host. A history has at most 40 requests.
-func (w *world) submitRandom(h *host) {
-	if l := w.leader(); l != nil && w.random.IntN(4) > 0 {
+func (sim *simulation) submitRandom(h *host) {
+	if l := sim.leader(); l != nil && sim.random.IntN(4) > 0 {
 		h = l
 	}
-	if len(w.history) >= 40 {
+	if len(sim.history) >= 40 {
 		return
 	}
-	q := request{kind: "wcr"[w.random.IntN(3)], new: int64(len(w.history) + 1)}
-	if len(w.history) > 0 {
-		q.old = int64(w.random.IntN(len(w.history)) + 1)
+	q := request{kind: "wcr"[sim.random.IntN(3)], new: int64(len(sim.history) + 1)}
+	if len(sim.history) > 0 {
+		q.old = int64(sim.random.IntN(len(sim.history)) + 1)
 	}
-	if h.node != nil && w.random.IntN(2) == 0 {
+	if h.node != nil && sim.random.IntN(2) == 0 {
 		q.old = h.value
 	}
-	w.submit(h, q)
+	sim.submit(h, q)
 }
 
 // canLoseDisk reports whether every current member list keeps a quorum without
 // the disk of the host. The loss of more disks must stop the group permanently.
-func (w *world) canLoseDisk(gone *host) bool {
-	for _, h := range w.hosts {
+func (sim *simulation) canLoseDisk(gone *host) bool {
+	for _, h := range sim.hosts {
 		n := h.node
 		if n == nil {
-			n = New(w.cfg, StoredState{Self: h.self, Snapshot: h.disk.snap, Entries: h.disk.entries}, 0)
+			n = New(sim.cfg, StoredState{Self: h.self, Snapshot: h.disk.snap, Entries: h.disk.entries}, 0)
 		}
 		voters, alive := 0, 0
 		for _, m := range n.Members() {
 			if m.Voter {
 				voters++
-				if x := w.byID(m.ID); x != nil && x != gone {
+				if x := sim.byID(m.ID); x != nil && x != gone {
 					alive++
 				}
 			}
@@ -198,14 +198,14 @@
 
 // toggleWanted changes whether a host should be a member of the group. It keeps
 // at least 3 members and does nothing unless the group has converged.
-func (w *world) toggleWanted(h *host) {
+func (sim *simulation) toggleWanted(h *host) {
 	wanted := 0
-	for _, x := range w.hosts {
+	for _, x := range sim.hosts {
 		if x.wanted {
 			wanted++
 		}
 	}
-	if l := w.leader(); l == nil || !w.converged() {
+	if l := sim.leader(); l == nil || !sim.converged() {
 		return
 	}
 	if (h.wanted && wanted > 3) || !h.wanted {
@@ -225,35 +225,35 @@
 }
 
 func checkAnyOrder(t *rapid.T) {
-	w := newWorld(rapid.Uint64Range(1, 1000).Draw(t, "seed"), 3, 3)
-	for w.leader() == nil {
-		w.run(5)
+	sim := newSimulation(rapid.Uint64Range(1, 1000).Draw(t, "seed"), 3, 3)
+	for sim.leader() == nil {
+		sim.run(5)
 	}
-	host := func() *host { return w.hosts[rapid.IntRange(0, 2).Draw(t, "host")] }
+	host := func() *host { return sim.hosts[rapid.IntRange(0, 2).Draw(t, "host")] }
 	pick := func() Message {
-		if len(w.network) == 0 {
+		if len(sim.network) == 0 {
 			t.Skip("no message is in flight")
 		}
-		return w.network[rapid.IntRange(0, len(w.network)-1).Draw(t, "message")].m
+		return sim.network[rapid.IntRange(0, len(sim.network)-1).Draw(t, "message")].m
 	}
 	t.Repeat(map[string]func(*rapid.T){
-		"deliver": func(*rapid.T) { w.deliver(pick()) },
-		"time":    func(t *rapid.T) { w.run(clock.Millis(rapid.IntRange(1, 150).Draw(t, "ms"))) },
+		"deliver": func(*rapid.T) { sim.deliver(pick()) },
+		"time":    func(t *rapid.T) { sim.run(clock.Millis(rapid.IntRange(1, 150).Draw(t, "ms"))) },
 		"request": func(*rapid.T) {
-			if len(w.history) < 30 {
-				w.submit(host(), request{kind: "wcr"[rapid.IntRange(0, 2).Draw(t, "kind")], new: int64(len(w.history) + 1)})
+			if len(sim.history) < 30 {
+				sim.submit(host(), request{kind: "wcr"[rapid.IntRange(0, 2).Draw(t, "kind")], new: int64(len(sim.history) + 1)})
 			}
 		},
-		"crash": func(*rapid.T) { w.crash(host()) },
+		"crash": func(*rapid.T) { sim.crash(host()) },
 		"start": func(*rapid.T) {
 			if h := host(); h.node == nil {
-				w.start(h)
+				sim.start(h)
 			}
 		},
 		"": func(t *rapid.T) {
-			w.checkLogs()
-			assert.NilError(t, w.err)
+			sim.checkLogs()
+			assert.NilError(t, sim.err)
 		},
 	})
-	assert.Assert(t, w.linearizable())
+	assert.Assert(t, sim.linearizable())
 }
--- a/core/state/raft/world_test.go
+++ b/core/state/raft/simulation_test.go
@@ -72,11 +72,11 @@
 	due clock.Millis
 }
 
-// world is a simulation of a group: hosts with disks, a network and a clock. It
-// checks election safety, leader completeness, log matching and state machine
-// safety, and that terms, votes and acknowledged entries are on disk before a
-// message reports them.
-type world struct {
+// simulation simulates a group: hosts with disks, a network and a clock. It checks
+// election safety, leader completeness, log matching and state machine safety, and
+// that terms, votes and acknowledged entries are on disk before a message reports
+// them.
+type simulation struct {
 	random  *rand.Rand
 	now     clock.Millis
 	hosts   []*host
@@ -144,44 +144,44 @@
 	},
 }
 
-func newWorld(seed uint64, hosts, wanted int) *world {
+func newSimulation(seed uint64, hosts, wanted int) *simulation {
 	r := rand.New(rand.NewPCG(seed, 1))
-	w := &world{
+	sim := &simulation{
 		random: r, now: 1000, leaders: map[uint64]MemberID{}, snapshotInterval: uint64(4 + r.IntN(20)), maxDelay: 10,
 		cfg: Config{ElectionTimeout: 100, HeartbeatInterval: 20, MaxAppendBytes: 60 + r.IntN(400), ChunkBytes: 4 + r.IntN(30), KeepEntries: uint64(r.IntN(6)), Seed: seed},
 	}
 	var first []Member
 	for i := range hosts {
-		h := &host{wanted: i < wanted, self: w.newMember()}
-		w.hosts = append(w.hosts, h)
+		h := &host{wanted: i < wanted, self: sim.newMember()}
+		sim.hosts = append(sim.hosts, h)
 		if h.wanted {
 			m := h.self
 			m.Voter = true
 			first = append(first, m)
 		}
 	}
-	for _, h := range w.hosts {
+	for _, h := range sim.hosts {
 		if h.wanted {
 			h.disk.snap.Members = first
 		}
-		w.start(h)
+		sim.start(h)
 	}
-	return w
+	return sim
 }
 
-func (w *world) newMember() Member {
-	w.lastID++
-	return Member{ID: w.lastID}
+func (sim *simulation) newMember() Member {
+	sim.lastID++
+	return Member{ID: sim.lastID}
 }
 
-func (w *world) failf(format string, args ...any) {
-	if w.err == nil {
-		w.err = fmt.Errorf("at %d ms: %w", w.now, fmt.Errorf(format, args...))
+func (sim *simulation) failf(format string, args ...any) {
+	if sim.err == nil {
+		sim.err = fmt.Errorf("at %d ms: %w", sim.now, fmt.Errorf(format, args...))
 	}
 }
 
-func (w *world) start(h *host) {
-	h.node = New(w.cfg, StoredState{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, w.now)
+func (sim *simulation) start(h *host) {
+	h.node = New(sim.cfg, StoredState{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, sim.now)
 	h.load(h.disk.snap, h.disk.data)
 	h.commit = 0
 	h.pendingWrites, h.pendingReads, h.writing = map[uint64]pendingWrite{}, map[uint64]int{}, nil
@@ -196,24 +196,24 @@
 
 // crash stops a host. A write in progress is lost, or a random part of it is
 // kept.
-func (w *world) crash(h *host) {
-	if out := h.writing; out != nil && w.random.IntN(2) == 0 {
-		hard := []*HardState{out.Hard, nil}[w.random.IntN(2)]
-		h.disk.write(hard, out.Append[:w.random.IntN(len(out.Append)+1)])
+func (sim *simulation) crash(h *host) {
+	if out := h.writing; out != nil && sim.random.IntN(2) == 0 {
+		hard := []*HardState{out.Hard, nil}[sim.random.IntN(2)]
+		h.disk.write(hard, out.Append[:sim.random.IntN(len(out.Append)+1)])
 	}
 	h.node, h.writing, h.frozen = nil, nil, false
 }
 
 // wipe crashes a host and restarts it with an empty disk and a new member ID.
-func (w *world) wipe(h *host) {
-	w.crash(h)
-	w.wipes++
-	h.self, h.disk = w.newMember(), disk{}
-	w.start(h)
+func (sim *simulation) wipe(h *host) {
+	sim.crash(h)
+	sim.wipes++
+	h.self, h.disk = sim.newMember(), disk{}
+	sim.start(h)
 }
 
-func (w *world) byID(id MemberID) *host {
-	for _, h := range w.hosts {
+func (sim *simulation) byID(id MemberID) *host {
+	for _, h := range sim.hosts {
 		if h.self.ID == id {
 			return h
 		}
@@ -223,103 +223,103 @@
 
 // run advances the time by step, delivers the messages that are due and lets
 // every host tick and process its output.
-func (w *world) run(step clock.Millis) {
-	w.now += step
-	due := w.network[:0:0]
-	rest := w.network[:0:0]
-	for _, f := range w.network {
-		to := w.byID(f.m.To)
-		if f.due <= w.now && (to == nil || !to.frozen) {
+func (sim *simulation) run(step clock.Millis) {
+	sim.now += step
+	due := sim.network[:0:0]
+	rest := sim.network[:0:0]
+	for _, f := range sim.network {
+		to := sim.byID(f.m.To)
+		if f.due <= sim.now && (to == nil || !to.frozen) {
 			due = append(due, f)
 		} else {
 			rest = append(rest, f)
 		}
 	}
-	w.network = rest
+	sim.network = rest
 	for _, f := range due {
-		w.deliver(f.m)
+		sim.deliver(f.m)
 	}
-	for _, h := range w.hosts {
+	for _, h := range sim.hosts {
 		if h.node != nil && !h.frozen {
-			h.node.Tick(w.now)
-			w.process(h)
+			h.node.Tick(sim.now)
+			sim.process(h)
 		}
 	}
 }
 
-func (w *world) deliver(m Message) {
-	h, from := w.byID(m.To), w.byID(m.From)
+func (sim *simulation) deliver(m Message) {
+	h, from := sim.byID(m.To), sim.byID(m.From)
 	if h == nil || h.node == nil || (from != nil && from.partition != h.partition) {
 		return
 	}
-	if err := h.node.Step(m, w.now); err != nil {
-		w.failf("host %d: %w", m.To, err)
+	if err := h.node.Step(m, sim.now); err != nil {
+		sim.failf("host %d: %w", m.To, err)
 	}
-	w.process(h)
+	sim.process(h)
 }
 
 // process completes a write that is due and starts the next one, until a write is
 // in progress or the node has no more output.
-func (w *world) process(h *host) {
-	for h.node != nil && w.err == nil {
-		w.check(h)
+func (sim *simulation) process(h *host) {
+	for h.node != nil && sim.err == nil {
+		sim.check(h)
 		if h.writing == nil {
 			out := h.node.Output()
 			if out.Empty() {
 				return
 			}
-			w.checkHard(h, out.Hard)
-			h.writing, h.writeDue = &out, w.now
+			sim.checkHard(h, out.Hard)
+			h.writing, h.writeDue = &out, sim.now
 			if len(out.Append) > 0 || out.Hard != nil {
-				h.writeDue += clock.Millis(w.random.IntN(3))
+				h.writeDue += clock.Millis(sim.random.IntN(3))
 				if h.slowDisk {
-					h.writeDue += clock.Millis(w.random.IntN(150))
+					h.writeDue += clock.Millis(sim.random.IntN(150))
 				}
 			}
 		}
-		if h.writeDue > w.now {
+		if h.writeDue > sim.now {
 			return
 		}
-		w.completeWrite(h)
+		sim.completeWrite(h)
 	}
 }
 
 // completeWrite completes the write in progress and then sends the messages,
 // applies the entries and answers the reads of the output.
-func (w *world) completeWrite(h *host) {
+func (sim *simulation) completeWrite(h *host) {
 	out := h.writing
 	h.writing = nil
 	h.disk.write(out.Hard, out.Append)
 	if out.Install != nil {
 		h.disk.snap, h.disk.data, h.disk.entries = *out.Install, out.InstallData, nil
 		h.load(*out.Install, out.InstallData)
-		w.installs++
+		sim.installs++
 	}
 	h.node.Persisted()
 	for _, m := range out.Messages {
-		w.checkSynced(h, m)
-		w.sendMessage(m)
+		sim.checkSynced(h, m)
+		sim.sendMessage(m)
 	}
 	for _, e := range out.Committed {
-		w.apply(h, e)
+		sim.apply(h, e)
 	}
 	for _, r := range out.Reads {
-		w.answerRead(h, r)
+		sim.answerRead(h, r)
 	}
 	for _, id := range out.NeedSnapshot {
 		h.node.ProvideSnapshot(id, h.disk.snap, h.disk.data)
 	}
-	if h.applied >= h.disk.snap.Index+w.snapshotInterval {
-		w.snapshot(h)
+	if h.applied >= h.disk.snap.Index+sim.snapshotInterval {
+		sim.snapshot(h)
 	}
 }
 
-func (w *world) snapshot(h *host) {
+func (sim *simulation) snapshot(h *host) {
 	meta, ok := h.node.SnapshotMetaAt(h.applied)
 	if !ok {
 		// The log was replaced by a snapshot while these entries were written.
 		if h.node.install == nil {
-			w.failf("host %d has no snapshot description for applied index %d", h.self.ID, h.applied)
+			sim.failf("host %d has no snapshot description for applied index %d", h.self.ID, h.applied)
 		}
 		return
 	}
@@ -330,36 +330,36 @@
 	h.node.Compact(meta)
 }
 
-func (w *world) sendMessage(m Message) {
-	if w.random.IntN(100) < w.lossPercent {
+func (sim *simulation) sendMessage(m Message) {
+	if sim.random.IntN(100) < sim.lossPercent {
 		return
 	}
-	w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.random.IntN(w.maxDelay))})
-	if w.random.IntN(100) < w.duplicatePercent {
-		w.network = append(w.network, inFlight{m, w.now + clock.Millis(1+w.random.IntN(4*w.maxDelay))})
+	sim.network = append(sim.network, inFlight{m, sim.now + clock.Millis(1+sim.random.IntN(sim.maxDelay))})
+	if sim.random.IntN(100) < sim.duplicatePercent {
+		sim.network = append(sim.network, inFlight{m, sim.now + clock.Millis(1+sim.random.IntN(4*sim.maxDelay))})
 	}
 }
 
 // apply applies an entry, checks state machine safety and answers the client.
-func (w *world) apply(h *host, e Entry) {
+func (sim *simulation) apply(h *host, e Entry) {
 	if e.Index != h.applied+1 {
-		w.failf("host %d applied entry %d after entry %d", h.self.ID, e.Index, h.applied)
+		sim.failf("host %d applied entry %d after entry %d", h.self.ID, e.Index, h.applied)
 	}
 	h.applied = e.Index
-	switch known := uint64(len(w.committed)); {
+	switch known := uint64(len(sim.committed)); {
 	case e.Index == known+1:
-		w.committed = append(w.committed, e)
+		sim.committed = append(sim.committed, e)
 	case e.Index > known+1:
-		w.failf("host %d applied entry %d before any host applied entry %d", h.self.ID, e.Index, known+1)
-	case w.committed[e.Index-1].Term != e.Term || string(w.committed[e.Index-1].Data) != string(e.Data):
-		w.failf("host %d applied a different entry at index %d", h.self.ID, e.Index)
+		sim.failf("host %d applied entry %d before any host applied entry %d", h.self.ID, e.Index, known+1)
+	case sim.committed[e.Index-1].Term != e.Term || string(sim.committed[e.Index-1].Data) != string(e.Data):
+		sim.failf("host %d applied a different entry at index %d", h.self.ID, e.Index)
 	}
 	result := int64(0)
 	if e.Kind == EntryChange {
 		result = h.change(decodeRequest(e.Data))
 	}
 	if wait, ok := h.pendingWrites[e.Index]; ok && wait.term == e.Term {
-		w.reply(wait.op, result)
+		sim.reply(wait.op, result)
 	}
 	delete(h.pendingWrites, e.Index)
 }
@@ -383,58 +383,58 @@
 
 // submit submits a request to a host, which may be a stale leader. A frozen
 // process resumes with the request, before its clock has advanced.
-func (w *world) submit(h *host, q request) {
+func (sim *simulation) submit(h *host, q request) {
 	h.frozen = false
 	if h.node == nil {
 		return
 	}
-	op := len(w.history)
-	w.operationClock++
-	record := porcupine.Operation{ClientId: op, Input: q, Call: w.operationClock, Output: int64(-1), Return: noReturn}
+	op := len(sim.history)
+	sim.operationClock++
+	record := porcupine.Operation{ClientId: op, Input: q, Call: sim.operationClock, Output: int64(-1), Return: noReturn}
 	if q.kind == opRead {
-		if h.node.ReadIndex(uint64(op), w.now) != nil {
+		if h.node.ReadIndex(uint64(op), sim.now) != nil {
 			return
 		}
 		h.pendingReads[uint64(op)] = op
 	} else {
-		index, term, err := h.node.Propose(q.encode(), w.now)
+		index, term, err := h.node.Propose(q.encode(), sim.now)
 		if err != nil {
 			return
 		}
 		h.pendingWrites[index] = pendingWrite{term, op}
 	}
-	w.history = append(w.history, record)
-	w.process(h)
+	sim.history = append(sim.history, record)
+	sim.process(h)
 }
 
-func (w *world) reply(op int, result int64) {
-	w.operationClock++
-	w.history[op].Output, w.history[op].Return = result, w.operationClock
+func (sim *simulation) reply(op int, result int64) {
+	sim.operationClock++
+	sim.history[op].Output, sim.history[op].Return = result, sim.operationClock
 }
 
-func (w *world) answerRead(h *host, r ReadReady) {
+func (sim *simulation) answerRead(h *host, r ReadReady) {
 	if r.Index > h.applied {
-		w.failf("host %d answers a read at index %d, but has applied entries only up to index %d", h.self.ID, r.Index, h.applied)
+		sim.failf("host %d answers a read at index %d, but has applied entries only up to index %d", h.self.ID, r.Index, h.applied)
 	}
 	if op, ok := h.pendingReads[r.Context]; ok {
-		w.reply(op, h.value)
+		sim.reply(op, h.value)
 		delete(h.pendingReads, r.Context)
 	}
 }
 
 // linearizable reports whether the client history is linearizable. Reads without
 // an answer do not constrain the history and are left out.
-func (w *world) linearizable() bool {
-	done := slices.DeleteFunc(slices.Clone(w.history), func(o porcupine.Operation) bool {
+func (sim *simulation) linearizable() bool {
+	done := slices.DeleteFunc(slices.Clone(sim.history), func(o porcupine.Operation) bool {
 		return o.Input.(request).kind == opRead && o.Return == noReturn
 	})
 	return porcupine.CheckOperations(register, done)
 }
 
 // leader returns the leader with the highest term, or nil if there is none.
-func (w *world) leader() *host {
+func (sim *simulation) leader() *host {
 	var best *host
-	for _, h := range w.hosts {
+	for _, h := range sim.hosts {
 		if h.node != nil && h.node.Role() == RoleLeader && (best == nil || h.node.Term() > best.node.Term()) {
 			best = h
 		}
@@ -443,24 +443,24 @@
 }
 
 // reconcile makes at most one membership change towards the wanted hosts.
-func (w *world) reconcile() {
-	l := w.leader()
+func (sim *simulation) reconcile() {
+	l := sim.leader()
 	if l == nil {
 		return
 	}
 	change := func(k ChangeKind, m Member) bool {
-		_, _, err := l.node.ChangeMembers(MemberChange{Kind: k, Member: m}, w.now)
+		_, _, err := l.node.ChangeMembers(MemberChange{Kind: k, Member: m}, sim.now)
 		if err == nil && l.node.termAt(l.node.commit) != l.node.term {
-			w.failf("leader %d changed the members before it committed an entry of its term", l.self.ID)
+			sim.failf("leader %d changed the members before it committed an entry of its term", l.self.ID)
 		}
 		return err == nil
 	}
 	for _, m := range l.node.Members() {
-		if h := w.byID(m.ID); (h == nil || !h.wanted) && change(RemoveMember, m) {
+		if h := sim.byID(m.ID); (h == nil || !h.wanted) && change(RemoveMember, m) {
 			return
 		}
 	}
-	for _, h := range w.hosts {
+	for _, h := range sim.hosts {
 		m, ok := l.node.member(h.self.ID)
 		if h.wanted && ((!ok && change(AddMember, h.self)) || (ok && !m.Voter && change(PromoteMember, m))) {
 			return
--- a/core/state/raft/snapshot.go
+++ b/core/state/raft/snapshot.go
@@ -10,9 +10,9 @@
 	data []byte
 	// offset is the offset in bytes of the current chunk.
 	offset uint64
-	// lastSend is the time at which the data was last requested from the caller
-	// or a chunk was last sent; 0 when the next one is due at once.
-	lastSend clock.Millis
+	// lastAttempt is the time at which the data was last requested from the caller
+	// or a chunk was last sent; 0 if the next request or chunk is due at once.
+	lastAttempt clock.Millis
 }
 
 // incomingSnapshot is a partially received snapshot. It is kept only in memory
@@ -23,9 +23,10 @@
 	data []byte
 }
 
-// sendSnapshot requests the snapshot from the caller or sends the current chunk.
-// Either is repeated after two heartbeat intervals without a result. Nothing is
-// sent to a member that has not been active recently.
+// sendSnapshot requests the snapshot from the caller or, once the caller has
+// provided it, sends the current chunk. A request or chunk without a result is
+// repeated after two heartbeat intervals. Nothing is sent to a member that has not
+// been active recently; its transfer starts again from the beginning.
 func (n *Node) sendSnapshot(id MemberID, p *progress) {
 	if p.state != stateSnapshot {
 		p.becomeProbe(p.next)
@@ -35,10 +36,10 @@
 		p.outgoing = outgoingSnapshot{}
 		return
 	}
-	if p.outgoing.lastSend != 0 && n.now-p.outgoing.lastSend < 2*n.cfg.HeartbeatInterval {
+	if p.outgoing.lastAttempt != 0 && n.now-p.outgoing.lastAttempt < 2*n.cfg.HeartbeatInterval {
 		return
 	}
-	p.outgoing.lastSend = n.now
+	p.outgoing.lastAttempt = n.now
 	if p.outgoing.data == nil {
 		n.needSnapshot = append(n.needSnapshot, id)
 		return
@@ -64,15 +65,15 @@
 	p.outgoing = outgoingSnapshot{meta: meta, data: data}
 }
 
-// onSnapshotReply moves on to the next chunk that the member requests. Replies
-// to earlier chunks are ignored, so that a duplicated message does not start a
-// second sequence of chunks.
+// onSnapshotReply continues with the chunk at the offset up to which the member
+// has received the data. Replies to earlier chunks are ignored, so that a
+// duplicated message does not start a second sequence of chunks.
 func (n *Node) onSnapshotReply(m Message, p *progress) {
 	if p.state != stateSnapshot || p.outgoing.data == nil || m.Index != p.outgoing.meta.Index || m.Hint != p.outgoing.offset {
 		return
 	}
 	p.outgoing.offset = min(m.Offset, uint64(len(p.outgoing.data)))
-	p.outgoing.lastSend = 0
+	p.outgoing.lastAttempt = 0
 }
 
 // onSnapshot collects the chunks of a snapshot and installs it when the last
@@ -117,8 +118,8 @@
 }
 
 // Compact reports that the caller has stored a snapshot up to meta.Index on
-// disk. It removes the entries from the log that are no longer needed, except
-// the last KeepEntries.
+// disk. It removes the entries that the snapshot covers from the log, except the
+// last KeepEntries of them.
 func (n *Node) Compact(meta SnapshotMeta) {
 	if meta.Index <= n.snapshotIndex || meta.Index > n.applied {
 		return
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -108,8 +108,8 @@
 	// that entry. In a reply to a snapshot chunk, Hint is the offset of the
 	// chunk.
 	Hint uint64
-	// HeartbeatRound is the heartbeat round. The reply to a heartbeat repeats it,
-	// which confirms the reads of that round.
+	// HeartbeatRound is the number of the round to which a heartbeat belongs. The
+	// reply repeats it, which confirms the reads of that round.
 	HeartbeatRound uint64
 	Snapshot       SnapshotMeta
 	// Offset, Chunk and Last are the offset in bytes and the data of a snapshot
