Reword the comments and test labels of store

The benchmark change spoke of 50 instances that it does not create, and TestOpenDamaged of segments that all have four records. recordLen is entriesInRecord, durable is lastDurable.

The labels of the cases of TestOpenDamaged name the damage; the cases, their order and their expected results are the same.

--- a/core/state/store/bench_test.go
+++ b/core/state/store/bench_test.go
@@ -18,8 +18,8 @@
 	"camphorridge/io/proto/codec"
 )
 
-// change returns the n-th change of a fleet of two customers and 50 instances: an
-// operator's update of a contract.
+// change returns the n-th change: an operator's update of the contract of one of
+// two customers.
 func change(s *fleet.State, n int) model.Change {
 	name := model.Customer(fmt.Sprint("customer-", n%2))
 	return model.Change{
--- a/core/state/store/disk_test.go
+++ b/core/state/store/disk_test.go
@@ -26,8 +26,8 @@
 // memDisk is a file system in memory that fails on demand. In a crash, each
 // unsynced block and each unsynced file name is kept or lost independently.
 type memDisk struct {
-	// names maps the paths that a process sees to their files. durable holds the
-	// entries that are certain to survive a crash.
+	// names maps the paths that a process sees to their files. durable maps the
+	// paths that are certain to survive a crash.
 	names, durable map[string]*inode
 	locked         bool
 	// countdown is the number of write operations up to and including the one
--- a/core/state/store/doc.go
+++ b/core/state/store/doc.go
@@ -7,9 +7,9 @@
 //   - lock: locked while a process uses the folder.
 //
 // A call of Save appends one record, or several for a batch above 16 MiB, and
-// syncs each. A record replaces all entries with an index of its first entry or
-// higher, so that an overwritten suffix of the log is not rewritten within a
-// segment. Because every record is synced before the next one is written, a
-// crash can damage only the last record. Damage anywhere else is reported as an
-// error and never repaired.
+// syncs each. A record replaces all earlier entries whose index is not below that
+// of its first entry: a conflicting suffix of the log is replaced by appending a
+// record, and its bytes stay in the segment. Because every record is synced before
+// the next one is written, a crash can damage only the last record. Damage
+// anywhere else is reported as an error and never repaired.
 package store
--- a/core/state/store/errors.go
+++ b/core/state/store/errors.go
@@ -18,8 +18,8 @@
 	KindDiskFull
 	// KindLocked means that another process uses the folder.
 	KindLocked
-	// KindCorrupt means that the content of a file contradicts its checksum or
-	// the files before and after it.
+	// KindCorrupt means that the content of a file contradicts its checksum, its
+	// name or the other files.
 	KindCorrupt
 	// KindGap means that log entries are missing.
 	KindGap
--- a/core/state/store/meta.go
+++ b/core/state/store/meta.go
@@ -110,12 +110,12 @@
 }
 
 // writeMeta writes the term, the vote and the commit index to the meta file. The
-// log is durable up to the index durable, and the written commit index is at most
-// that. A stored commit index beyond the end of the log is therefore a sign of
-// lost entries.
-func (s *Store[C, F]) writeMeta(hard raft.HardState, durable uint64) error {
+// commit index is limited to lastDurable, the index up to which the log is durable.
+// A stored commit index beyond the end of the log therefore means that entries were
+// lost.
+func (s *Store[C, F]) writeMeta(hard raft.HardState, lastDurable uint64) error {
 	stored := hard
-	stored.Commit = min(hard.Commit, durable)
+	stored.Commit = min(hard.Commit, lastDurable)
 	if err := s.replaceFile(metaName, encodeMeta(metaState{id: s.id, hard: stored})); err != nil {
 		return ioError("write meta", err)
 	}
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -31,8 +31,8 @@
 
 // TestOpenDamaged guards against a folder that opens although data is missing or
 // modified, and against a folder that fails to open although a crash can have
-// left it in that state. Each record has 28 bytes, and each segment has four
-// records.
+// left it in that state. Each record has 28 bytes. The first two segments have
+// four records and the third has three.
 func TestOpenDamaged(t *testing.T) {
 	flip := func(name string, at int) func(*testing.T, string) {
 		return func(t *testing.T, dir string) {
@@ -75,30 +75,30 @@
 		kind store.Kind
 		text string
 	}{
-		{"nothing", func(*testing.T, string) {}, 11, 0, ""},
-		{"torn length", cut(thirdSegment, 2*28+3), 10, 0, ""},
-		{"torn payload", cut(thirdSegment, 3*28-1), 10, 0, ""},
-		{"damaged last record", flip(thirdSegment, 2*28+20), 10, 0, ""},
-		{"damaged last length", flip(thirdSegment, 2*28+1), 10, 0, ""},
-		{"zeros after the end", add(thirdSegment, string(make([]byte, 4096))), 11, 0, ""},
-		{"torn first record of the last segment", cut(thirdSegment, 9), 8, 0, ""},
+		{"no damage", func(*testing.T, string) {}, 11, 0, ""},
+		{"last record cut in its header", cut(thirdSegment, 2*28+3), 10, 0, ""},
+		{"last record cut in its payload", cut(thirdSegment, 3*28-1), 10, 0, ""},
+		{"payload of the last record damaged", flip(thirdSegment, 2*28+20), 10, 0, ""},
+		{"length of the last record damaged", flip(thirdSegment, 2*28+1), 10, 0, ""},
+		{"zeros after the last record", add(thirdSegment, string(make([]byte, 4096))), 11, 0, ""},
+		{"first record of the last segment cut", cut(thirdSegment, 9), 8, 0, ""},
 		{"last segment empty", cut(thirdSegment, 0), 8, 0, ""},
-		{"empty new segment", add("log-00000000000000000012.seg", ""), 11, 0, ""},
-		{"temporary file", add("meta.tmp", "part"), 11, 0, ""},
-		{"record before the tail", flip(thirdSegment, 28+20), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
-		{"length before the tail", flip(thirdSegment, 28), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
-		{"record of an earlier segment", flip(firstSegment, 3*28+20), 0, store.KindCorrupt, firstSegment + ", offset 84"},
-		{"end of an earlier segment", cut(secondSegment, 3*28+5), 0, store.KindCorrupt, secondSegment + ", offset 84"},
-		{"whole record of an earlier segment", cut(secondSegment, 3*28), 0, store.KindGap, thirdSegment},
-		{"segment missing", remove(secondSegment), 0, store.KindGap, thirdSegment},
-		{"segment empty", cut(secondSegment, 0), 0, store.KindGap, thirdSegment},
+		{"new segment empty", add("log-00000000000000000012.seg", ""), 11, 0, ""},
+		{"temporary file left", add("meta.tmp", "part"), 11, 0, ""},
+		{"payload of an earlier record damaged", flip(thirdSegment, 28+20), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
+		{"length of an earlier record damaged", flip(thirdSegment, 28), 0, store.KindCorrupt, thirdSegment + ", offset 28"},
+		{"record of an earlier segment damaged", flip(firstSegment, 3*28+20), 0, store.KindCorrupt, firstSegment + ", offset 84"},
+		{"last record of an earlier segment cut", cut(secondSegment, 3*28+5), 0, store.KindCorrupt, secondSegment + ", offset 84"},
+		{"last record of an earlier segment missing", cut(secondSegment, 3*28), 0, store.KindGap, thirdSegment},
+		{"middle segment missing", remove(secondSegment), 0, store.KindGap, thirdSegment},
+		{"middle segment empty", cut(secondSegment, 0), 0, store.KindGap, thirdSegment},
 		{"first segment missing", remove(firstSegment), 0, store.KindGap, secondSegment},
 		{"committed entries missing", loseCommitted, 0, store.KindGap, "ends at entry 8, but 9"},
-		{"meta missing", remove("meta"), 0, store.KindNoMeta, "no meta file"},
-		{"meta damaged", flip("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
-		{"meta short", cut("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
+		{"meta file missing", remove("meta"), 0, store.KindNoMeta, "no meta file"},
+		{"meta file damaged", flip("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
+		{"meta file cut", cut("meta", 20), 0, store.KindCorrupt, "meta, offset 0"},
 		{"snapshot damaged", flip(snapshotFile, 40), 0, store.KindCorrupt, snapshotFile},
-		{"snapshot short", cut(snapshotFile, 3), 0, store.KindCorrupt, snapshotFile},
+		{"snapshot cut", cut(snapshotFile, 3), 0, store.KindCorrupt, snapshotFile},
 	}
 	origin := filepath.Join(t.TempDir(), "data")
 	s, err := open(origin, store.OSFileSystem{}, 100)
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -48,8 +48,9 @@
 	logs  []uint64
 }
 
-// recover loads the meta file, the latest snapshot and the log. It removes files that
-// a crash left and generates a member ID if the folder is empty.
+// recover loads the meta file, the latest snapshot and the log. It removes
+// incomplete and replaced files that a crash left, and generates a member ID if
+// the folder is empty.
 func (s *Store[C, F]) recover(self raft.Member) error {
 	found, err := s.listDataFiles()
 	if err != nil {
@@ -189,8 +190,8 @@
 }
 
 // loadSegment reads one segment; final is true for the last one. In the last
-// segment, a damaged record without a valid record after it is the incomplete
-// end of an unacknowledged write and is ignored.
+// segment, a damaged record without a valid record after it comes from a write
+// that was interrupted before it was acknowledged, and is ignored.
 func (s *Store[C, F]) loadSegment(first uint64, final bool) (segment, []raft.Entry, error) {
 	seg := segment{first: first, last: first - 1}
 	b, err := s.files.ReadFile(s.path(seg.name()))
@@ -224,9 +225,10 @@
 
 // reconcile reconciles the log with the snapshot and returns the entries after
 // the snapshot. The log is removed if it ends before the snapshot or if its
-// entry at the snapshot's index has another term, because an interrupted Install
-// leaves such a log. A log that starts directly after the snapshot is kept: it
-// was shortened by Snapshot, because Install removes the first segment last.
+// entry at the snapshot's index has another term, because an interrupted
+// InstallSnapshot leaves such a log. A log that starts directly after the snapshot
+// is kept: SaveSnapshot removed the segments before it. InstallSnapshot cannot
+// leave such a log, because it removes the first segment last.
 func (s *Store[C, F]) reconcile(log []raft.Entry) ([]raft.Entry, error) {
 	if len(log) > 0 && s.snapshot.Index > 0 {
 		covered := int(s.snapshot.Index + 1 - log[0].Index)
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -33,8 +33,8 @@
 
 func (seg segment) name() string { return indexName(logPrefix, seg.first, logExt) }
 
-// last returns the index of the last durable entry, or of the snapshot if there
-// are no segments.
+// last returns the index of the last durable entry, or that of the snapshot if
+// there are no segments.
 func (s *Store[C, F]) last() uint64 {
 	if n := len(s.segments); n > 0 {
 		return s.segments[n-1].last
@@ -165,8 +165,8 @@
 
 // removeDropped removes the files of dropped segments. The removal of each file
 // is made durable before the next one: otherwise any of the files could reappear
-// after a crash, and an old segment must not follow newer entries. Files that
-// could not be removed are retried before the next write.
+// after a crash, and an old segment must not follow newer entries. A removal that
+// fails is retried before the next write.
 func (s *Store[C, F]) removeDropped() error {
 	for len(s.droppedFiles) > 0 {
 		name := s.droppedFiles[0]
--- a/core/state/store/snapshot.go
+++ b/core/state/store/snapshot.go
@@ -90,9 +90,9 @@
 	return parseSnapshot(s.codec, name, b)
 }
 
-// SaveSnapshot writes a snapshot of the member's own state and removes the segments
-// that it covers completely. The entry at the snapshot's index must be stored.
-// After an error the call may be repeated.
+// SaveSnapshot writes a snapshot of the member's own state and removes the
+// segments that it covers completely. The entry at the snapshot's index must be
+// stored. After an error the call may be repeated.
 func (s *Store[C, F]) SaveSnapshot(meta raft.SnapshotMeta, data []byte) error {
 	if err := s.prepareWrite("snapshot"); err != nil {
 		return err
@@ -109,10 +109,10 @@
 	return s.removeReplaced()
 }
 
-// InstallSnapshot replaces the state and the log with a snapshot received from another
-// member. After an error the call may be repeated. If the error occurs before
-// the snapshot is durable, nothing has changed; after a later error the log is
-// empty, and its files are removed before the next write.
+// InstallSnapshot replaces the state and the log with a snapshot received from
+// another member. After an error the call may be repeated. If the error occurs
+// before the snapshot is durable, nothing has changed; after a later error the log
+// is empty, and its files are removed before the next write.
 func (s *Store[C, F]) InstallSnapshot(meta raft.SnapshotMeta, data []byte) error {
 	if err := s.prepareWrite("install"); err != nil {
 		return err
@@ -130,8 +130,8 @@
 	return s.removeReplaced()
 }
 
-// sameSnapshot reports whether a and b describe the same snapshot, which means
-// that a call is repeated after its snapshot became durable.
+// sameSnapshot reports whether a and b describe the same snapshot. A call for the
+// snapshot that is already durable repeats a call that failed afterwards.
 func sameSnapshot(a, b raft.SnapshotMeta) bool { return a.Index == b.Index && a.Term == b.Term }
 
 func (s *Store[C, F]) writeSnapshot(meta raft.SnapshotMeta, data []byte) error {
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -20,8 +20,9 @@
 	// Self describes this member. Its ID is ignored; the ID is read from the
 	// folder.
 	Self raft.Member
-	// SegmentBytes is the size at which a new segment is started. Values below 1
-	// mean DefaultSegmentBytes.
+	// SegmentBytes is the size in bytes from which a segment receives no more
+	// records and the next one is started. Values below 1 mean
+	// DefaultSegmentBytes.
 	SegmentBytes int64
 }
 
@@ -48,8 +49,9 @@
 	active File
 	// droppedFiles lists the files that must be removed before the next write.
 	droppedFiles []string
-	// tornWrite is set while the last segment may have bytes after its size;
-	// failedSync is set after a failed sync.
+	// tornWrite is set while the file of the last segment may have bytes after the
+	// last synced record, and failedSync after a failed sync, until repairTail
+	// succeeds.
 	tornWrite, failedSync bool
 	// recordBuf is a buffer for the next record. During Open it holds the last
 	// record of the last segment; see rewriteLastRecord.
@@ -85,7 +87,7 @@
 		}
 	}
 	for len(entries) > 0 {
-		n := recordLen(entries)
+		n := entriesInRecord(entries)
 		if err := s.append(entries[:n]); err != nil {
 			return err
 		}
@@ -94,19 +96,20 @@
 	return nil
 }
 
-// saveHardState writes a new term or vote to the meta file. A new commit index alone
-// is only kept in memory.
+// saveHardState writes a new term or vote to the meta file. A new commit index
+// alone is only kept in memory. entries are the ones that the same call of Save
+// writes afterwards.
 func (s *Store[C, F]) saveHardState(hard raft.HardState, entries []raft.Entry) error {
 	if hard.Term == s.hard.Term && hard.Vote == s.hard.Vote {
 		s.commit = max(s.commit, hard.Commit)
 		return nil
 	}
-	durable := s.last()
+	lastDurable := s.last()
 	if len(entries) > 0 {
-		durable = min(durable, entries[0].Index-1)
+		lastDurable = min(lastDurable, entries[0].Index-1)
 	}
 	hard.Commit = max(hard.Commit, s.commit)
-	return s.writeMeta(hard, durable)
+	return s.writeMeta(hard, lastDurable)
 }
 
 // checkOrder returns an error with KindOutOfOrder if the arguments of Save would lower
@@ -129,8 +132,8 @@
 	return nil
 }
 
-// recordLen returns the number of entries, at least 1, that fit in one record.
-func recordLen(entries []raft.Entry) int {
+// entriesInRecord returns how many of the entries, at least 1, fit in one record.
+func entriesInRecord(entries []raft.Entry) int {
 	size := 0
 	for i, e := range entries {
 		size += len(e.Data)
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -59,9 +59,9 @@
 	afterAbandoned bool
 }
 
-// drawStep draws a call that is valid for the current content: Snapshot if kind is
-// 0, Install if it is 1, and otherwise Save. After an abandoned call it is always a
-// Save with a new term.
+// drawStep draws a call that is valid for the current content: SaveSnapshot if kind
+// is 0 and the log has entries, InstallSnapshot if kind is 1, and otherwise Save.
+// After an abandoned call it is always a Save with a new term.
 func (r *run) drawStep(t *rapid.T) step {
 	out := step{hard: r.hard, snap: r.snap, log: r.log, keptEntries: len(r.log)}
 	kind := rapid.IntRange(0, 9).Draw(t, "call")
@@ -140,8 +140,9 @@
 		return
 	}
 	if got.Snapshot.Index == after.snap.Index && after.snap.Index != r.snap.Index {
-		// The new snapshot is durable. Segments left by an interrupted Install
-		// must not contribute entries: exactly those after the snapshot remain.
+		// The new snapshot is durable. Segments left by an interrupted
+		// InstallSnapshot must not contribute entries: exactly those after the
+		// snapshot remain.
 		assert.Assert(t, same(got.Entries, after.log), "%v, expected %v", got.Entries, after.log)
 	} else {
 		assert.Equal(t, got.Snapshot.Index, r.snap.Index)
