Reword comments, labels and two messages of group, raft and store

KindCanceled, Error.Leader, RefusedInputs, DiskFailures and flush had to be read twice or said less than the code does. Two error messages name what they mean: the leader's first entry of its term, and a segment that does not start directly after an entry. Two wait labels and the timeout message of the group tests say what was awaited; the conditions are the same.

--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -154,11 +154,11 @@
 	return a.status, err
 }
 
-// Join adds a member and returns the member list once it contains the member; a
-// new member takes the addresses of the others from it. A listed member that has
-// the same name and another ID is removed first, once it is no longer active.
-// The leader promotes the new member to a voter when it has caught up. Join must
-// be called on the leader.
+// Join adds a member and returns the member list once the list contains the member.
+// The new member takes the addresses of the others from the list. A listed member
+// that has the same name and another ID is removed first, once it is no longer
+// active. The leader promotes the new member to a voter when it has caught up. Join
+// must be called on the leader.
 func (g *Group[S, C]) Join(ctx context.Context, m raft.Member) ([]raft.Member, error) {
 	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -29,7 +29,8 @@
 	// KindStopped means that the event loop has ended; nothing was done.
 	KindStopped
 	// KindCanceled means that the caller's context ended, or the member stopped,
-	// before an operation that changes nothing was complete.
+	// before the operation was complete. It is used only for operations that
+	// change nothing.
 	KindCanceled
 	// KindOutcomeUnknown means that the change may have been applied or may
 	// still be applied. A resend with the same request ID returns the result.
@@ -54,8 +55,8 @@
 type Error struct {
 	Op   string
 	Kind Kind
-	// Leader is set with KindNotLeader to the member to which the request should
-	// be sent instead. Its ID is 0 if no leader is known.
+	// Leader is set if Kind is KindNotLeader: the request should be sent to this
+	// member instead. Its ID is 0 if no leader is known.
 	Leader raft.Member
 	Err    error
 }
--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -20,7 +20,7 @@
 var errDiskFull = errors.New("no space left on device")
 
 // memStorage is an in-memory Storage. All writes fail while failing is set.
-// maxBatch is the largest number of entries in one Save.
+// maxBatch is the largest number of entries passed to one call of Save.
 type memStorage struct {
 	mu       sync.Mutex
 	failing  atomic.Bool
@@ -176,7 +176,7 @@
 func (c *cluster) until(condition string, f func() bool) {
 	c.t.Helper()
 	for deadline := time.Now().Add(time.Minute); !f(); c.clock.Advance(2) {
-		assert.Assert(c.t, time.Now().Before(deadline), "timed out after a minute: %s", condition)
+		assert.Assert(c.t, time.Now().Before(deadline), "the condition did not hold within a minute: %s", condition)
 		time.Sleep(time.Millisecond / 2)
 	}
 }
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -18,8 +18,8 @@
 	Save(hard *raft.HardState, entries []raft.Entry) error
 	// InstallSnapshot replaces the snapshot and the whole log.
 	InstallSnapshot(meta raft.SnapshotMeta, data []byte) error
-	// SaveSnapshot writes a snapshot of the local state and removes the entries that
-	// it covers.
+	// SaveSnapshot writes a snapshot of the local state and removes the entries
+	// that it covers.
 	SaveSnapshot(meta raft.SnapshotMeta, data []byte) error
 	// ReadSnapshot returns the latest snapshot.
 	ReadSnapshot() (raft.SnapshotMeta, []byte, error)
@@ -47,7 +47,8 @@
 	MaxPending int
 	// SnapshotEntries is the number of applied entries between two snapshots.
 	SnapshotEntries uint64
-	// RetryDelay is the delay before a failed write is retried.
+	// RetryDelay is the delay before a failed write of the log or of a snapshot is
+	// retried.
 	RetryDelay clock.Millis
 	// Send passes messages to the transport. It must not block; a message that
 	// does not fit in the transport's buffer is dropped, and Raft sends it again
@@ -83,12 +84,12 @@
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]chan answer
 	lastReadContext  uint64
-	// pendingJoins holds the unanswered calls of Join; see advanceJoin.
+	// pendingJoins holds the calls of Join that wait for their membership changes.
 	pendingJoins []input
 	watchers     []watcher
 	observed     observedState
-	// failedOutput is the output whose write failed with writeErr and is retried
-	// at retryAt; nil while writes succeed.
+	// failedOutput is the output whose last write failed with writeErr; the write
+	// is retried from retryAt on. It is nil while writes succeed.
 	failedOutput *raft.Output
 	writeErr     error
 	retryAt      clock.Millis
@@ -121,8 +122,9 @@
 	LogWrites int64
 	// Applied counts the applied entries, without those in an installed snapshot.
 	Applied int64
-	// DiskFailures counts failed writes, and SnapshotFailures counts failed
-	// writes of local snapshots and failed reads of snapshots.
+	// DiskFailures counts failed attempts to write an output of the Raft node, and
+	// SnapshotFailures counts failed writes of local snapshots and failed reads of
+	// snapshots.
 	DiskFailures     int64
 	SnapshotFailures int64
 	// Snapshots counts the snapshots of the local state that were written, and
@@ -130,8 +132,8 @@
 	Snapshots          int64
 	InstalledSnapshots int64
 	// RefusedInputs counts inputs that were refused because the ring was full, most
-	// of them messages from peers. Requests that were refused because only the part
-	// of the ring reserved for messages was free are not counted; see call.
+	// of them messages from peers. It does not count requests that were refused
+	// while only the part of the ring that is reserved for messages was free.
 	RefusedInputs int64
 	// DroppedMessages counts peer messages that were dropped while the disk
 	// failed.
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -178,7 +178,7 @@
 
 	lead := c.leader(others(full)...)
 	assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange("b", "request-2"))).err)
-	c.until("retries", func() bool { return c.status(full).Counts.DiskFailures > 2 })
+	c.until("the failed write is retried", func() bool { return c.status(full).Counts.DiskFailures > 2 })
 	assert.Assert(t, c.status(full).DiskError != "")
 	assert.Equal(t, c.contracts(full), 1)
 	c.disks[full].failing.Store(false)
@@ -197,7 +197,7 @@
 		}
 		joined <- err
 	}()
-	c.until("the member is promoted", func() bool {
+	c.until("the member is a voter and the group has the expected size", func() bool {
 		i := slices.IndexFunc(c.status(lead).Members, func(x raft.Member) bool { return x.ID == m.ID && x.Voter })
 		return i >= 0 && len(c.status(lead).Members) == size
 	})
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -150,8 +150,8 @@
 	return failf(op, KindInvalid, "%w", err)
 }
 
-// member returns the member with an ID. A member that is not in the group has only
-// its ID set.
+// member returns the member with the given ID. If the ID is not in the member list,
+// only the ID of the result is set.
 func (g *Group[S, C]) member(id raft.MemberID) raft.Member {
 	for _, m := range g.node.Members() {
 		if m.ID == id {
@@ -176,7 +176,7 @@
 
 // failPending fails all pending proposals, reads and joins, because this member no
 // longer leads or has stopped. Proposals and joins fail with KindOutcomeUnknown,
-// since the next leader may still commit them, and reads with KindNotLeader.
+// because the next leader may still commit them, and reads with KindNotLeader.
 func (g *Group[S, C]) failPending(reason string) {
 	for index, p := range g.pendingProposals {
 		g.counts.OutcomesUnknown++
@@ -193,8 +193,8 @@
 	g.pendingJoins = nil
 }
 
-// fireWatchers fires and removes the watchers whose version is below the current
-// one.
+// fireWatchers fires and removes the watchers that wait for a version that the state
+// has reached.
 func (g *Group[S, C]) fireWatchers() {
 	g.watchers = slices.DeleteFunc(g.watchers, func(w watcher) bool {
 		fire := g.state.Version > w.after
--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -6,9 +6,9 @@
 	"camphorridge/core/state/raft"
 )
 
-// reconcileMembers makes the next membership change for a pending join or the
-// promotion of a member that has caught up. Raft allows one change at a time;
-// the others are made at the next ticks.
+// reconcileMembers makes at most one membership change: one that a pending join
+// needs, or the promotion of a member that has caught up. Raft allows one change at
+// a time; the next ticks make the others.
 func (g *Group[S, C]) reconcileMembers() {
 	if g.node.Role() != raft.RoleLeader {
 		g.refuseJoins()
@@ -66,8 +66,8 @@
 	return err != nil
 }
 
-// predecessor returns the status of the listed member that has the same name as
-// m and another ID.
+// predecessor returns the status of the member in the list that has the same name
+// as m and another ID.
 func (g *Group[S, C]) predecessor(m raft.Member) (raft.PeerStatus, bool) {
 	for _, p := range g.node.Peers() {
 		if p.Member.Name == m.Name && p.Member.ID != m.ID {
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -5,8 +5,9 @@
 	"camphorridge/core/state/raft"
 )
 
-// flush performs all outputs of the Raft node, then writes a snapshot and
-// notifies watchers and Observe as needed.
+// flush performs the outputs of the Raft node until it has none left or a write
+// fails. It then writes a local snapshot if one is due, and notifies the watchers
+// and Observe of changes.
 func (g *Group[S, C]) flush() {
 	for g.failedOutput == nil && g.terminalErr == nil {
 		out := g.node.Output()
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -107,7 +107,7 @@
 	// Hence only one change is allowed at a time, and none before the leader has
 	// committed an entry of its own term.
 	if n.MembersPending() || !n.committedInTerm() {
-		return 0, 0, failf("change members", KindPending, "the membership change at index %d or an entry of the current term is not committed", n.MembersIndex())
+		return 0, 0, failf("change members", KindPending, "the membership change at index %d, or the leader's first entry of its term, is not committed", n.MembersIndex())
 	}
 	list, err := n.membersAfter(c)
 	if err != nil {
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -172,7 +172,7 @@
 	for i, first := range firstIndexes {
 		if first > next || (i > 0 && first < next) {
 			return nil, &Error{Op: "open", Kind: KindGap, Err: fmt.Errorf(
-				"%s does not start after entry %d", segment{first: first}.name(), next-1)}
+				"%s does not start directly after entry %d", segment{first: first}.name(), next-1)}
 		}
 		seg, entries, err := s.loadSegment(first, i == len(firstIndexes)-1)
 		if err != nil {
