Reword comments of boot, record, trail and ring

PlanRetry, PlanForm and the founder whose start was interrupted were described incompletely; the mutex of Recorder guards fields that the comment now names.

The messages and case labels of the boot tests state the expectation; the cases and assertions are the same.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -25,9 +25,9 @@
 	// Initialised is set once the process has been in a group. It is durable and
 	// never cleared.
 	Initialised bool
-	// Founders is the member list as long as all its members are voters, and empty
-	// otherwise. A process that finds its own ID in it is a founder whose start was
-	// interrupted.
+	// Founders is the member list if all its members are voters, and empty otherwise.
+	// A process with an empty data folder that finds its own ID in the list is a founder
+	// whose start was interrupted.
 	Founders []raft.Member
 }
 
@@ -44,28 +44,30 @@
 
 // The plans.
 const (
-	// PlanRetry means that not every configured member has answered and that they
-	// must be asked again.
+	// PlanRetry means that the configured members must be asked again: no group is
+	// known, and either some of them did not answer with a member ID or this process is
+	// not configured.
 	PlanRetry Plan = iota
-	// PlanForm means that no group exists: each member writes the same initial
-	// member list.
+	// PlanForm means that this process starts with an initial member list, the same as
+	// the other founders: either no group exists, or its own start was interrupted.
 	PlanForm
 	// PlanJoin means that a group exists, whose leader must add this process.
 	PlanJoin
 )
 
-// DecidePlan returns the plan of the process self, with the members of the new group
-// for PlanForm and the processes that answered for PlanJoin. answers holds an answer
-// of each configured member that responded, including this process.
+// DecidePlan returns the plan of the process with the ID self. The returned members are
+// the initial members of the group for PlanForm, and the processes that answered for
+// PlanJoin. answers holds the answer of each configured member that responded, and of
+// this process.
 func DecidePlan(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
 	members := respondingMembers(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
 			continue
 		}
-		// The data folder of this founder is empty and still has the same ID, so that
-		// the ID has not been used in a group. The founder can safely start from the
-		// same list.
+		// This process is listed as a founder, and its data folder is empty but still has
+		// the listed ID. The ID was therefore never used in a group, and the process can
+		// safely start with the founders' list.
 		if slices.ContainsFunc(a.Founders, func(m raft.Member) bool { return m.ID == self }) {
 			return PlanForm, a.Founders
 		}
@@ -117,7 +119,7 @@
 }
 
 // collectAnswers calls Hello for each configured member, one after the other. It returns
-// self and the answers; members that don't answer within helloTimeout are left out.
+// self and the answers; members that do not answer within helloTimeout are left out.
 func collectAnswers[P PeerClient](peers P, self Hello, configured []model.Member) []Hello {
 	answers := []Hello{self}
 	for _, m := range configured {
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -24,10 +24,10 @@
 		{"all new", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanForm},
 		{"founder whose start was interrupted", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders}}, PlanForm},
 		{"founder that lost its data folder", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders[1:]}}, PlanJoin},
-		{"one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanRetry},
+		{"one does not answer", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanRetry},
 		{"one was in a group", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: true}, {Name: "c3", ID: 3, Initialised: false}}, PlanJoin},
-		{"one in a group, one silent", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c3", ID: 3, Initialised: true}}, PlanJoin},
-		{"one without identity", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanRetry},
+		{"one is in a group, one does not answer", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c3", ID: 3, Initialised: true}}, PlanJoin},
+		{"one has no member ID", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanRetry},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -40,12 +40,12 @@
 	}
 }
 
-// TestUnlistedMember guards against replacing a member that merely doesn't answer, and
+// TestUnlistedMember guards against replacing a member that merely does not answer, and
 // against not adding a process that lost its data folder.
 func TestUnlistedMember(t *testing.T) {
 	members := []raft.Member{{ID: 1, Name: "c1", Voter: true}, {ID: 2, Name: "c2", Voter: true}, {ID: 3, Name: "c3", Voter: true}}
 	_, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c2", ID: 2, Initialised: true}})
-	assert.Assert(t, !ok, "a member that doesn't answer must stay")
+	assert.Assert(t, !ok, "a member that does not answer must stay")
 	got, ok := UnlistedMember(members, configured, []Hello{{Name: "c1", ID: 1, Initialised: true}, {Name: "c3", ID: 9}})
 	assert.Assert(t, ok)
 	assert.Equal(t, got.ID, raft.MemberID(9))
--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -80,7 +80,8 @@
 // Config holds the settings and dependencies of a MembershipManager.
 type Config[P PeerClient, G Group] struct {
 	Self Hello
-	// Member describes this process as the member that the group is asked to add.
+	// Member describes this process as the member that the group is asked to add. If its
+	// ID is 0, the group is not asked.
 	Member raft.Member
 	// Configured lists the control processes in the settings.
 	Configured []model.Member
@@ -158,12 +159,13 @@
 		return
 	}
 	others := slices.DeleteFunc(slices.Clone(*mm.configured.Load()), func(m model.Member) bool { return m.Name == mm.self.Name })
-	// After a failure the next check asks again.
+	// An error is ignored: the next check asks again.
 	_ = mm.peers.Join(ctx, others, mm.member)
 }
 
 // removeSilentMember removes a member that has been silent for removalDelay if the
-// group has more than minMembers members, as after a machine was replaced for good.
+// group has more than minMembers members, as it has after a machine was replaced
+// permanently.
 func (mm *MembershipManager[P, G]) removeSilentMember(ctx context.Context, v View) {
 	now := mm.clock.Now()
 	for id := range mm.silentSince {
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -72,12 +72,12 @@
 	assert.Equal(t, g.joinCalls, 1)
 	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, HasLeader: true}
 	mm.check()
-	assert.Equal(t, g.joinCalls, 1, "it is a member")
+	assert.Equal(t, g.joinCalls, 1, "a member must not ask to join")
 	g.view.HasLeader = false
 	for range maxChecksWithoutLeader {
 		mm.check()
 	}
-	assert.Equal(t, g.joinCalls, 2, "it knows no leader")
+	assert.Equal(t, g.joinCalls, 2, "a member that knows no leader must ask to join")
 }
 
 // TestSilentMemberIsRemoved guards against a group that grows with each replaced
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -25,8 +25,9 @@
 	ended chan struct{}
 	stop  sync.Once
 
-	// mu guards the fields up to lost and is held from stamping an event until it
-	// is in the ring, so that events enter the ring in the order of their stamps.
+	// mu guards the fields from hybrid to lost. It is held from the stamping of an
+	// event until the event is in the ring, so that events enter the ring in the
+	// order of their stamps.
 	mu     sync.Mutex
 	hybrid trail.HybridClock
 	seq    uint64
@@ -35,8 +36,8 @@
 	// lost counts the events that never reached the log.
 	lost int64
 
-	// log is used by Run's goroutine alone until ended is closed, and is only
-	// read after that.
+	// log is accessed only by the goroutine of Run until ended is closed, and is
+	// only read after that.
 	log *trail.Log
 }
 
@@ -133,7 +134,7 @@
 func (r *Recorder) Events(since uint64) []model.Event { return r.Page(since, math.MaxInt) }
 
 // Page is like Events but returns at most limit events, so that a response
-// doesn't contain a copy of a long log.
+// does not contain a copy of a long log.
 func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.query(since, limit).events }
 
 // Counts holds the counters of a Recorder; they never decrease.
--- a/core/coord/record/record_test.go
+++ b/core/coord/record/record_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestConcurrentRecord guards against losing or reordering events when several
-// goroutines record, and against a log that can't be read after Run has ended.
+// goroutines record, and against a log that cannot be read after Run has ended.
 func TestConcurrentRecord(t *testing.T) {
 	r := record.New("e1", 20_000, clock.Real())
 	ran := make(chan error, 1)
--- a/core/state/ring/doc.go
+++ b/core/state/ring/doc.go
@@ -1,3 +1,2 @@
-// Package ring provides the bounded ring buffer that passes values between
-// goroutines.
+// Package ring provides the bounded queue that passes values between goroutines.
 package ring
--- a/core/state/ring/ring.go
+++ b/core/state/ring/ring.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// Ring is a bounded ring buffer of values. TryPut never blocks; a reader receives
-// from C. It is safe for concurrent use.
+// Ring is a bounded first-in, first-out queue of values. TryPut never blocks; a
+// reader receives from C. It is safe for concurrent use.
 type Ring[T any] struct {
 	// ch has a fixed capacity of at least 1 and is never closed: readers use
 	// their own done channel to stop.
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -27,9 +27,9 @@
 	Target string
 }
 
-// adviceByLimit maps the limit names in events to the action that resolves the
-// limit. The three groups are settings of a contract, reasons for refused
-// requests, and limits of the system itself.
+// adviceByLimit maps the limit names in events to the advice on the limit. The
+// three groups are settings of a contract, reasons for refused requests, and limits
+// of the system itself.
 var adviceByLimit = map[string]Advice{
 	"concurrency":     {ActionRaiseLimit, "concurrency"},
 	"queue":           {ActionRaiseLimit, "queue"},
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -113,7 +113,7 @@
 	// ObstacleNotReturned means that the instance is in maintenance and the
 	// platform has not returned it.
 	ObstacleNotReturned ObstacleKind = "not-returned"
-	// ObstacleDisruptionLimit means that a customer's limit of unavailable
+	// ObstacleDisruptionLimit means that a customer's limit on unavailable
 	// instances is reached.
 	ObstacleDisruptionLimit ObstacleKind = "disruption-limit"
 	// ObstacleMaintenanceDue means that a declared maintenance of the instance
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -8,10 +8,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Measures are the three figures that operators weigh against each other: the
-// time until contract changes take effect, the moves and maintenance of
-// instances, and the buffer of idle instances. They are computed from the events
-// and the current state.
+// Measures holds the figures that operators trade off against each other: the time
+// until contract changes take effect, the moves and maintenance of instances, and
+// the buffer of idle instances.
 type Measures struct {
 	// Rollouts lists the rollouts of contract changes in the order of versions.
 	Rollouts []Rollout
@@ -25,16 +24,16 @@
 	FinishedMaintenances int
 	// Waves lists the declared maintenances in the order of their names.
 	Waves []Wave
-	// IdleInstances is the number of serving instances beyond the promised
-	// number: the buffer.
+	// IdleInstances is the size of the buffer: the number of serving instances
+	// beyond the promised number.
 	IdleInstances int
 }
 
 // Rollout describes how long an accepted contract change took to take effect.
 type Rollout struct {
 	Version model.Version
-	// Elapsed is the time until the last entry process applied the change; 0
-	// while Missing is not empty.
+	// Elapsed is the time from the change until the last entry process applied it;
+	// 0 while Missing is not empty.
 	Elapsed clock.Millis
 	// Missing lists the entry processes that have not reported the change as
 	// applied.
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -129,7 +129,7 @@
 	return slices.ContainsFunc(c.Pools, func(s model.PoolShare) bool { return s.Pool == p })
 }
 
-// disruptionObstacle returns the obstacle of a customer's limit of unavailable
+// disruptionObstacle returns the obstacle of a customer's limit on unavailable
 // instances and reports whether the limit is reached. Instances that are being
 // released or are in maintenance count as unavailable.
 func disruptionObstacle(state CurrentState, c model.Contract) (obstacle Obstacle, reached bool) {
@@ -202,7 +202,7 @@
 
 // maintenanceObstacles returns an obstacle for each declared maintenance that is
 // due for a serving instance, and one for each customer of its pool whose limit
-// of unavailable instances delays it.
+// on unavailable instances delays it.
 func maintenanceObstacles(state CurrentState, i model.Instance) []Obstacle {
 	if i.Phase != model.PhaseServing {
 		return nil
