--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -5,8 +5,8 @@
 	"camphorridge/core/state/raft"
 )
 
-// flush performs the outputs of the Raft node until it has none left or a write
-// fails. It then writes a local snapshot if one is due, and notifies the watchers
+// flush performs the outputs of the Raft node until none is left or an error
+// occurs. It then writes a local snapshot if one is due, and notifies the watchers
 // and Observe of changes.
 func (g *Group[S, C]) flush() {
 	for g.failedOutput == nil && g.terminalErr == nil {
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -103,9 +103,9 @@
 // findConflictByTerm returns the largest index at or below index whose entry has
 // at most the given term, and the term of that entry, or 0 if the entry was
 // compacted. If the entry at index of another log has at most the given term, the
-// two logs differ from there down to the returned index, because terms never
-// decrease within a log. One exchange of messages therefore skips all conflicting
-// entries of a term.
+// two logs differ at every index above the returned one up to index, because terms
+// never decrease within a log. One exchange of messages therefore skips all
+// conflicting entries of a term.
 func (l *entryLog) findConflictByTerm(index, term uint64) (uint64, uint64) {
 	for i := min(index, l.last()); ; i-- {
 		t, ok := l.term(i)
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -174,7 +174,7 @@
 
 // canLoseDisk reports whether every current member list keeps a quorum without
 // the disk of the host. The loss of more disks must stop the group permanently.
-func (sim *simulation) canLoseDisk(gone *host) bool {
+func (sim *simulation) canLoseDisk(lost *host) bool {
 	for _, h := range sim.hosts {
 		n := h.node
 		if n == nil {
@@ -184,7 +184,7 @@
 		for _, m := range n.Members() {
 			if m.Voter {
 				voters++
-				if x := sim.byID(m.ID); x != nil && x != gone {
+				if x := sim.byID(m.ID); x != nil && x != lost {
 					alive++
 				}
 			}
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -50,8 +50,8 @@
 	// droppedFiles lists the files that must be removed before the next write.
 	droppedFiles []string
 	// tornWrite is set while the file of the last segment may have bytes after the
-	// last synced record, and failedSync after a failed sync, until repairTail
-	// succeeds.
+	// last synced record, and failedSync after a failed sync. Both are cleared when
+	// the segment has been repaired or dropped.
 	tornWrite, failedSync bool
 	// recordBuf is a buffer for the next record. During Open it holds the last
 	// record of the last segment; see rewriteLastRecord.
