Rename Resources.Fits to FitsIn and Record.Due to DueAt

Renames alone. a.Fits(b) left open which side has to be the smaller one, and Due returns a time and not whether the occurrence is due.

--- a/core/state/jobs/resources_test.go
+++ b/core/state/jobs/resources_test.go
@@ -20,11 +20,11 @@
 		a, b := drawResources(t, "a"), drawResources(t, "b")
 		assert.Equal(t, a.Plus(b).Minus(b), a)
 		assert.Equal(t, a.Plus(b), b.Plus(a))
-		assert.Equal(t, a.Fits(b), a.Minus(b).Fits(Resources{}))
+		assert.Equal(t, a.FitsIn(b), a.Minus(b).FitsIn(Resources{}))
 	})
 	for _, one := range []Resources{{MilliCores: 1}, {MemoryMiB: 1}, {Accelerators: 1}} {
 		assert.Equal(t, (Resources{}).Plus(one), one)
-		assert.Assert(t, !one.Fits(Resources{}))
-		assert.Assert(t, one.Fits(one))
+		assert.Assert(t, !one.FitsIn(Resources{}))
+		assert.Assert(t, one.FitsIn(one))
 	}
 }
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -333,9 +333,9 @@
 	return true
 }
 
-// Due returns the earliest start time of an occurrence; 0 if it may start
+// DueAt returns the earliest start time of an occurrence; 0 if it may start
 // immediately.
-func (r *Record) Due(occurrence int) clock.Millis {
+func (r *Record) DueAt(occurrence int) clock.Millis {
 	if r.OccurrenceCount == 0 {
 		return 0
 	}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// Fits reports whether free has at least r of every resource.
-func (r Resources) Fits(free Resources) bool {
+// FitsIn reports whether free has at least r of every resource.
+func (r Resources) FitsIn(free Resources) bool {
 	return r.MilliCores <= free.MilliCores && r.MemoryMiB <= free.MemoryMiB && r.Accelerators <= free.Accelerators
 }
 
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -60,7 +60,7 @@
 func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
 	t := w.reservedFor
 	switch {
-	case !w.Draining && p.usable(w, now) && p.sizeToReserve(t.Task).Fits(w.Size.Minus(w.used)):
+	case !w.Draining && p.usable(w, now) && p.sizeToReserve(t.Task).FitsIn(w.Size.Minus(w.used)):
 		p.cancelReservation(w)
 		p.start(t, w, now)
 	case w.Draining || !slices.ContainsFunc(sortedKeys(w.tasks), func(id TaskID) bool { return w.tasks[id].phase == PhaseStopping }):
@@ -231,12 +231,12 @@
 // whether it did either. Otherwise it sets the customer's waitReason.
 func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, failed *[]Size) bool {
 	need := p.sizeToReserve(t.Task)
-	if !customer.used.Plus(need).Fits(customer.contract.Quota) {
+	if !customer.used.Plus(need).FitsIn(customer.contract.Quota) {
 		customer.waitReason = WaitQuota
 		return false
 	}
 	customer.waitReason = WaitCapacity
-	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.Fits(need) }) {
+	if !slices.ContainsFunc(*failed, func(s Size) bool { return s.FitsIn(need) }) {
 		if w := p.chooseWorker(t, need, now); w != nil {
 			p.start(t, w, now)
 			return true
@@ -256,7 +256,7 @@
 func (p *Placer[F, S, J]) chooseWorker(t *task, need Size, now clock.Millis) *worker {
 	suitable := func(id WorkerID) *worker {
 		w := p.workers[id]
-		if w.reservedFor == nil && need.Fits(w.Size.Minus(w.used)) && p.usable(w, now) && !slices.Contains(t.failedOn, id) {
+		if w.reservedFor == nil && need.FitsIn(w.Size.Minus(w.used)) && p.usable(w, now) && !slices.Contains(t.failedOn, id) {
 			return w
 		}
 		return nil
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -207,7 +207,7 @@
 		return fail(KindNoContract, "customer %s has no contract", t.Customer)
 	}
 	need := p.expectedSize(t)
-	if !need.Fits(customer.contract.Quota) {
+	if !need.FitsIn(customer.contract.Quota) {
 		return fail(KindQuota, "needs %v; the whole quota of customer %s is %v", need, t.Customer, customer.contract.Quota)
 	}
 	if !p.fitsAnyWorker(need) {
@@ -238,7 +238,7 @@
 // enough.
 func (p *Placer[F, S, J]) fitsAnyWorker(need Size) bool {
 	for _, w := range p.workers {
-		if !w.Draining && need.Fits(w.Size) {
+		if !w.Draining && need.FitsIn(w.Size) {
 			return true
 		}
 	}
@@ -301,7 +301,7 @@
 func (p *Placer[F, S, J]) resize(t *task, to Size) {
 	w, customer := t.worker, p.customers[t.Customer]
 	w.used, customer.used = w.used.Minus(t.reserved), customer.used.Minus(t.reserved)
-	shrinks := to.Fits(t.reserved) && to != t.reserved
+	shrinks := to.FitsIn(t.reserved) && to != t.reserved
 	t.reserved = to
 	w.used, customer.used = w.used.Plus(t.reserved), customer.used.Plus(t.reserved)
 	p.refreshWorker(w)
@@ -335,7 +335,7 @@
 			delete(m, w.ID)
 		}
 	}
-	set(p.overcommitted, !w.used.Fits(w.Size))
+	set(p.overcommitted, !w.used.FitsIn(w.Size))
 	set(p.throttled, throttled)
 	p.updateIndex(w)
 }
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -29,7 +29,7 @@
 	lowest := clock.Millis(0)
 	for _, id := range p.preemptionWorkers(bucketOf(need.MilliCores)) {
 		w := p.workers[id]
-		if !p.usable(w, now) || slices.Contains(t.failedOn, id) || !need.Fits(w.Size.Minus(w.used).Plus(w.preemptible)) {
+		if !p.usable(w, now) || slices.Contains(t.failedOn, id) || !need.FitsIn(w.Size.Minus(w.used).Plus(w.preemptible)) {
 			continue
 		}
 		lack := need.Minus(w.Size.Minus(w.used))
@@ -50,7 +50,7 @@
 	p.reservedWorkers[best.ID] = true
 	p.disrupt(victims, now, "capacity is freed for urgent task "+string(t.ID))
 	p.updateIndex(best)
-	if need.Fits(best.Size.Minus(best.used)) {
+	if need.FitsIn(best.Size.Minus(best.used)) {
 		// Throttling frees capacity at once.
 		p.cancelReservation(best)
 		p.start(t, best, now)
@@ -78,7 +78,7 @@
 			lack = lack.Minus(t.reserved)
 		}
 	}
-	if lack.Fits(Size{}) {
+	if lack.FitsIn(Size{}) {
 		return
 	}
 	victims, _ := p.selectVictims(w, lack, now, func(*task) bool { return true })
@@ -96,7 +96,7 @@
 	taken := map[*task]bool{}
 	for _, kind := range []ActionKind{ActionCheckpoint, ActionThrottle, ActionStop} {
 		for _, t := range p.victimsFor(w, kind, now) {
-			if lack.Fits(Size{}) {
+			if lack.FitsIn(Size{}) {
 				return out, true
 			}
 			gain, cost := p.gainAndCost(t, kind, now)
@@ -111,7 +111,7 @@
 			out = append(out, victim{task: t, kind: kind, cost: cost})
 		}
 	}
-	return out, lack.Fits(Size{})
+	return out, lack.FitsIn(Size{})
 }
 
 // helps reports whether the gain covers part of the lack.
@@ -198,7 +198,7 @@
 		for _, tid := range sortedKeys(w.tasks) {
 			t := w.tasks[tid]
 			full := p.sizeToReserve(t.Task)
-			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).Fits(w.Size.Minus(w.used)) {
+			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).FitsIn(w.Size.Minus(w.used)) {
 				continue
 			}
 			t.cpuPercent = 100
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -149,7 +149,7 @@
 	}
 	switch {
 	case report.Waiting == 0 || rec.Status.Final():
-	case rec.Due(occurrence) > now:
+	case rec.DueAt(occurrence) > now:
 		report.WaitReason = WaitNotDue
 	case !rec.Ready(occurrence, step):
 		report.WaitReason = WaitDependencies
@@ -173,12 +173,12 @@
 	}{
 		{WaitNoWorkers, func(*worker) bool { return true }},
 		{WaitLabel, func(w *worker) bool { return w.hasLabel(g) }},
-		{WaitSize, func(w *worker) bool { return reserved.Fits(w.capacity) }},
+		{WaitSize, func(w *worker) bool { return reserved.FitsIn(w.capacity) }},
 		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.cordoned && !w.goingDown && !w.vacating }},
 		{WaitQuarantine, func(w *worker) bool { return w.quarantinedUntil <= now }},
 		{WaitAdvice, func(w *worker) bool { return s.adviceAllows(w, g, now) }},
 		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
-		{WaitCapacity, func(w *worker) bool { return reserved.Fits(w.capacity.Minus(w.used)) }},
+		{WaitCapacity, func(w *worker) bool { return reserved.FitsIn(w.capacity.Minus(w.used)) }},
 	} {
 		remaining = slices.DeleteFunc(remaining, func(w *worker) bool { return !check.meets(w) })
 		if len(remaining) == 0 {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -103,7 +103,7 @@
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
 	reserved, n := reservation(g.step), 0
 	limit := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
-	for n < limit && reserved.Fits(free) {
+	for n < limit && reserved.FitsIn(free) {
 		free = free.Minus(reserved)
 		n++
 	}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -89,7 +89,7 @@
 			}
 			continue
 		}
-		if slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.Fits(reserved) }) {
+		if slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.FitsIn(reserved) }) {
 			continue
 		}
 		for len(g.waiting) > 0 {
@@ -133,7 +133,7 @@
 	failedOn := s.lastFailedOn[t]
 	var bestScore score
 	for _, w := range p.available {
-		if !reserved.Fits(w.capacity.Minus(w.used)) {
+		if !reserved.FitsIn(w.capacity.Minus(w.used)) {
 			continue
 		}
 		hasCapacity = true
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -35,7 +35,7 @@
 // Deadline returns the latest time at which an occurrence of a job counts as on
 // time.
 func Deadline(rec *jobs.Record, occurrence int) clock.Millis {
-	from := max(rec.AcceptedAt, rec.Due(occurrence))
+	from := max(rec.AcceptedAt, rec.DueAt(occurrence))
 	return from + rec.Target + rec.CriticalPath()*clock.Millis(rec.StretchPermille)/1000
 }
 
@@ -184,7 +184,7 @@
 		return
 	}
 	for occurrence := range rec.Occurrences {
-		if due := rec.Due(occurrence); due > now {
+		if due := rec.DueAt(occurrence); due > now {
 			s.scheduled.Push(scheduledOccurrence{dueAt: due, job: rec.ID, occurrence: occurrence})
 			continue
 		}
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -349,7 +349,7 @@
 		used = used.Plus(sim.committed.Jobs[t.Job].Steps[t.Step].Resources)
 	}
 	need := sim.committed.Jobs[s.Task.Job].Steps[s.Task.Step].Resources
-	if s.Run <= w.endedRuns[s.Task] || !need.Fits(w.capacity.Minus(used)) {
+	if s.Run <= w.endedRuns[s.Task] || !need.FitsIn(w.capacity.Minus(used)) {
 		w.end(s.Task, &simRun{run: s.Run}, jobs.ResultRefused)
 		return
 	}
@@ -419,7 +419,7 @@
 		sim.failf("task %v starts after %d failed runs", s.Task, sim.failures[s.Task])
 	case !rec.Ready(s.Task.Occurrence, s.Task.Step):
 		sim.failf("task %v starts before the steps that it depends on are done", s.Task)
-	case rec.Due(s.Task.Occurrence) > sim.now:
+	case rec.DueAt(s.Task.Occurrence) > sim.now:
 		sim.failf("task %v starts before its occurrence is due", s.Task)
 	}
 }
