Reword the comments of core/state/jobs

Read badly: "the runs of a worker process" for its successive processes, "equal tasks", "time that other tasks leave over", "puts into force", a deadline that was a duration, and Completed, which holds once maintenance has started. ResultStopped had no comment. They now say this in plain terms.

--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -5,7 +5,8 @@
 	"slices"
 )
 
-// Clone returns a copy that shares no data that operations modify.
+// Clone returns a copy of the state. Operations on one of the two do not affect
+// the other; data that no operation modifies is shared.
 func (s *State) Clone() *State {
 	c := *s
 	c.EndedJobs = slices.Clone(s.EndedJobs)
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -7,8 +7,8 @@
 )
 
 // Retention is how long an ended job is kept. Submitters query ended jobs for
-// up to two minutes. A longer retention makes snapshots larger, and the group
-// is blocked while a snapshot is made.
+// up to two minutes. A longer retention makes snapshots larger, and the Raft
+// group is blocked while a snapshot is made.
 const Retention = 3 * clock.Minute
 
 // State is the replicated state of submitted work.
@@ -16,14 +16,14 @@
 	// Time is the latest time of an operation; it never decreases.
 	Time   clock.Millis
 	Config Config
-	// Jobs holds every accepted job until its retention ends.
+	// Jobs holds the accepted jobs, ended ones until their retention ends.
 	Jobs map[ID]*Record
 	// Seq is the sequence number of the latest accepted job; it never
 	// decreases.
 	Seq   uint64
 	Waves map[int]*Wave
-	// EndedJobs lists the jobs with a final status in the order in which they
-	// ended.
+	// EndedJobs lists the jobs in Jobs that have a final status, in the order in
+	// which they ended.
 	EndedJobs []ID
 }
 
@@ -32,10 +32,10 @@
 	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}}
 }
 
-// Apply applies a batch of operations made at time now. Operations that no
-// longer match the state have no effect: a second submission of the same ID,
-// the end of a run that is not the latest, or a configuration that is not
-// newer.
+// Apply applies a batch of operations made at time now. An operation that does
+// not match the state has no effect, for example the submission of a known ID,
+// the end of a run that is not the task's latest, or a configuration that is not
+// newer than the current one.
 func (s *State) Apply(ops []Op, now clock.Millis) {
 	s.Time = max(s.Time, now)
 	for i := range ops {
@@ -113,8 +113,8 @@
 	}
 }
 
-// newOccurrence returns an occurrence of which no task has run. It allocates
-// the tasks of all steps at once.
+// newOccurrence returns an occurrence of which no task has run. The tasks of all
+// its steps share one allocation.
 func newOccurrence(steps []Step) Occurrence {
 	total := 0
 	for i := range steps {
@@ -134,8 +134,8 @@
 	}
 }
 
-func (s *State) finishJob(r *Record, to Status) {
-	r.Status, r.EndedAt = to, s.Time
+func (s *State) finishJob(r *Record, status Status) {
+	r.Status, r.EndedAt = status, s.Time
 	// Spec is needed only to start tasks, and an ended job starts none.
 	r.Spec = ""
 	s.EndedJobs = append(s.EndedJobs, r.ID)
@@ -209,8 +209,9 @@
 	return n
 }
 
-// gangFailures returns the number of failed runs of a gang: the highest count of
-// its tasks.
+// gangFailures returns the number of failed runs of a gang, which is the highest
+// count of its tasks: assign sets the count of each started task to that of the
+// gang.
 func (st *StepState) gangFailures() int {
 	n := 0
 	for i := range st.Tasks {
@@ -219,9 +220,9 @@
 	return n
 }
 
-// setGangCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint of one
-// task is valid for the whole gang, and all tasks must resume from the same
-// one.
+// setGangCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint that
+// one task reports is valid for the whole gang, and all tasks must resume from
+// the same checkpoint.
 func (st *StepState) setGangCheckpoint(checkpoint string) {
 	for i := range st.Tasks {
 		st.Tasks[i].Checkpoint = checkpoint
@@ -275,8 +276,9 @@
 	}
 }
 
-// completeTask marks a task as done, and with it the step, occurrence and job
-// that this completes. When one task of a gang is done, so is the whole gang.
+// completeTask marks a task as done and updates the counts of its step,
+// occurrence and job; the job ends when its last task is done. When one task of
+// a gang is done, all of them are.
 func (s *State) completeTask(r *Record, id TaskID) {
 	occurrence := &r.Occurrences[id.Occurrence]
 	step := &occurrence.Steps[id.Step]
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -80,8 +80,9 @@
 	assert.Assert(t, Retention >= 2*clock.Minute)
 }
 
-// TestCloneIsIndependent guards against a leader's copy that leaks uncommitted
-// operations into the committed state.
+// TestCloneIsIndependent guards against a clone that shares modified data with
+// its original: operations that the leader has applied only to its own copy would
+// change the committed state.
 func TestCloneIsIndependent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -2,7 +2,7 @@
 
 import "camphorridge/core/state/clock"
 
-// The identifiers of the objects of this package.
+// Identifiers of jobs and of what runs them.
 type (
 	// ID identifies a job; the submitter chooses it.
 	ID string
@@ -22,7 +22,7 @@
 const (
 	// MaxSpecBytes limits the length of Job.Spec.
 	MaxSpecBytes = 4000
-	// MaxTasks limits the number of tasks over all occurrences.
+	// MaxTasks limits the number of tasks of a job, over all occurrences.
 	MaxTasks = 20_000
 )
 
@@ -42,7 +42,7 @@
 	}
 }
 
-// Minus returns r less o for each resource; the result may be negative.
+// Minus returns r minus o for each resource; the result may be negative.
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{
 		MilliCores:   r.MilliCores - o.MilliCores,
@@ -56,9 +56,9 @@
 	return r.MilliCores <= free.MilliCores && r.MemoryMiB <= free.MemoryMiB && r.Accelerators <= free.Accelerators
 }
 
-// Incarnation distinguishes the runs of a worker process under the same
-// WorkerID. It is the start time of the process as a Unix time in milliseconds.
-// A later incarnation has no state of an earlier one.
+// Incarnation distinguishes the successive processes of a worker, which share
+// its WorkerID. It is the start time of the process as a Unix time in
+// milliseconds. A process keeps no state of an earlier one.
 type Incarnation int64
 
 // TaskID identifies one task of a job.
@@ -75,7 +75,8 @@
 // Queue is the configuration of one queue.
 type Queue struct {
 	Name QueueName
-	// Host and Prefix select the queue for a request.
+	// Host and Prefix select the queue of a request by its host and the start of
+	// its path.
 	Host   string
 	Prefix string
 	Pool   PoolName
@@ -84,8 +85,8 @@
 	// MaxAttempts is the number of failed runs of one task after which the job
 	// fails; at least 1.
 	MaxAttempts int
-	// Target and StretchPermille define a job's deadline: the target plus the
-	// length of its critical path multiplied by StretchPermille/1000.
+	// Target and StretchPermille define the time that a job may take: Target
+	// plus the length of its critical path multiplied by StretchPermille/1000.
 	Target          clock.Millis
 	StretchPermille int
 	// Advice is the zero value for a queue whose tasks may run on any worker of
@@ -108,7 +109,7 @@
 // Pool is the configuration of one pool of workers.
 type Pool struct {
 	Name PoolName
-	// Standby is set for a pool of machines that are powered off.
+	// Standby is set for a pool whose machines are powered off.
 	Standby bool
 	// AdmissionControl is set if the pool's workers reject a start that exceeds
 	// their free resources.
@@ -125,7 +126,7 @@
 	Pools    []Pool
 }
 
-// Step is a set of equal tasks of a job.
+// Step is a set of identical tasks of a job.
 type Step struct {
 	// TaskCount is at least 1.
 	TaskCount int
@@ -146,7 +147,7 @@
 	SameRack bool
 	// RequiredLabel must be one of the worker's labels, unless it is empty.
 	RequiredLabel string
-	// DataRack is the rack near the data; empty for none.
+	// DataRack is the rack closest to the data of the tasks; empty for none.
 	DataRack string
 	// MaxPerWorker limits the tasks of the step on one worker; 0 for no limit.
 	MaxPerWorker int
@@ -155,12 +156,13 @@
 	// LongRunning tasks run until the job is cancelled. All other tasks are
 	// finite: they end when their work is done.
 	LongRunning bool
-	// Image is what the tasks run; tasks of one image behave alike.
+	// Image identifies what the tasks run; tasks with the same image behave
+	// alike.
 	Image string
 	// LatencyTarget is the limit on the tail latency of a serving task; 0 for
 	// none.
 	LatencyTarget clock.Millis
-	// BestEffort tasks use processor time that other tasks leave over; the
+	// BestEffort tasks use the processor time that other tasks leave unused; the
 	// processors in their Resources are not reserved.
 	BestEffort bool
 	// MaxUnavailable is the number of long-running tasks that the scheduler may
@@ -288,8 +290,8 @@
 	Machines []MachineID
 	// MaxDown limits the machines of the wave that are down at the same time.
 	MaxDown int
-	// DeclaredAt is the leader's time at acceptance. Deadline is the later time
-	// by which the maintenance of every machine should have taken place.
+	// DeclaredAt is the leader's time at acceptance. Deadline is the time by
+	// which the maintenance of every machine should have taken place.
 	DeclaredAt clock.Millis
 	Deadline   clock.Millis
 	// Ordered holds the machines whose maintenance may have been ordered.
@@ -299,7 +301,9 @@
 	Started map[MachineID]bool
 }
 
-// Completed reports whether the maintenance of every machine has started.
+// Completed reports whether the wave needs no more orders: the maintenance of
+// every machine has started, but may not have ended, or the machine no longer
+// exists.
 func (w *Wave) Completed() bool { return len(w.Started) >= len(w.Machines) }
 
 // Result is how a run ended.
@@ -312,6 +316,7 @@
 	// ResultFailed means that the run failed. Only failed runs count towards
 	// MaxAttempts.
 	ResultFailed
+	// ResultStopped means that the worker stopped the run before it was done.
 	ResultStopped
 	// ResultExpired means that the worker's lease expired.
 	ResultExpired
@@ -341,11 +346,11 @@
 	OpSubmit OpKind = iota
 	// OpCancel cancels the job Task.Job.
 	OpCancel
-	// OpAssign assigns Task to Worker and its Incarnation as run number Run.
+	// OpAssign assigns Task to Incarnation of Worker as run number Run.
 	OpAssign
-	// OpEnd ends run Run of Task with Result and Checkpoint.
+	// OpEnd ends run number Run of Task with Result and Checkpoint.
 	OpEnd
-	// OpConfig puts Config into force.
+	// OpConfig makes Config the current configuration.
 	OpConfig
 	// OpDeclareWave declares Wave.
 	OpDeclareWave
@@ -369,7 +374,7 @@
 	WaveNumber  int
 	Machine     MachineID
 	// Job, Config and Wave are nil unless Kind uses them. They must not be
-	// modified once the operation exists.
+	// modified after the operation has been created.
 	Job    *Job
 	Config *Config
 	Wave   *Wave
