--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -14,8 +14,8 @@
 	// adviceRetryMillis is the pause before a request about the same step is
 	// repeated after a failure.
 	adviceRetryMillis clock.Millis = 300
-	// maxAdviceWorkers limits the workers in one request; each one adds to the
-	// response time.
+	// maxAdviceWorkers limits the workers named in one request, because each one
+	// adds to the response time.
 	maxAdviceWorkers = 30
 	// ticketMarginMillis is the minimum remaining validity of a ticket for a
 	// start: the start must be committed and reach the worker before the ticket
@@ -23,8 +23,8 @@
 	ticketMarginMillis clock.Millis = 200
 )
 
-// adviceVerdict is the response of the advice service about one worker for one
-// step.
+// adviceVerdict is the decision of the advice service on whether one worker may
+// run one step.
 type adviceVerdict struct {
 	incarnation jobs.Incarnation
 	// ticket is empty if the worker must not run the step.
@@ -50,7 +50,7 @@
 	pendingStep    stepKey
 	pendingWorkers map[jobs.WorkerID]jobs.Incarnation
 	requestedAt    clock.Millis
-	// counts holds the number of requested and approved workers for each queue.
+	// counts holds the counts of each queue since the start of the term.
 	counts map[jobs.QueueName]adviceCount
 }
 
@@ -96,9 +96,9 @@
 }
 
 // requestAdvice asks the advice service which workers may run the waiting tasks
-// of a group, unless another request is pending. The request names workers with
-// enough free resources first, and as many as should yield enough approvals,
-// going by the queue's earlier responses.
+// of a group, unless another request is pending. The request names as many workers
+// as are likely to yield enough approvals, judged by the earlier responses for the
+// queue. Workers with enough free resources for a task are named first.
 func (s *Scheduler[P, H]) requestAdvice(p *pool, g *taskGroup, now clock.Millis) {
 	if s.adviceOf(g.rec).TicketValidity == 0 || s.advice.pendingWorkers != nil {
 		return
@@ -152,10 +152,10 @@
 	return candidates
 }
 
-// adviceRequestSize returns the number of workers to name in a request: the
-// number that the waiting tasks need, divided by the share of approved workers
-// so far, which is taken as one half before the first response. w is one of the
-// candidates; the others are assumed to be as large.
+// adviceRequestSize returns the number of workers to name in a request, at most
+// maxAdviceWorkers: one more than the number that the waiting tasks need divided
+// by the share of workers approved so far, which is taken as one half before the
+// first response. All candidates are assumed to be as large as w.
 func (s *Scheduler[P, H]) adviceRequestSize(g *taskGroup, w *worker) int {
 	wanted := (len(g.waiting) + w.fitCount(w.capacity, g) - 1) / w.fitCount(w.capacity, g)
 	count := s.advice.counts[g.rec.Queue]
@@ -173,7 +173,7 @@
 	advice.nextRequest = now
 	if outcome.Answer != AnswerDone {
 		advice.nextRequest = now + adviceRetryMillis
-		s.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, %d workers named: %s", key.step, len(action.Workers), outcome), true)
+		s.noteJob(DecisionAdviceMissing, rec, fmt.Sprintf("step %d, request for %d workers: %s", key.step, len(action.Workers), outcome), true)
 		return
 	}
 	for id, incarnation := range incarnations {
@@ -188,7 +188,7 @@
 	}
 	count := s.advice.counts[rec.Queue]
 	s.advice.counts[rec.Queue] = adviceCount{requested: count.requested + len(incarnations), approved: count.approved + approved}
-	s.noteJob(DecisionAdviceReceived, rec, fmt.Sprintf("step %d, %d of %d workers after %d ms", key.step, approved, len(incarnations), now-requestedAt), false)
+	s.noteJob(DecisionAdviceReceived, rec, fmt.Sprintf("step %d, %d of %d workers approved after %d ms", key.step, approved, len(incarnations), now-requestedAt), false)
 	s.dirtyPools[s.pool(s.poolOf(rec))] = true
 }
 
@@ -204,7 +204,7 @@
 	}
 }
 
-// dropTicket drops the ticket of a run that the worker refused.
+// dropTicket drops the worker's ticket for the step of a run that it refused.
 func (s *Scheduler[P, H]) dropTicket(w *worker, r *run) {
 	if advice := s.advice.steps[stepKeyOf(r.task)]; advice != nil {
 		delete(advice.verdicts, w.id)
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -34,8 +34,8 @@
 }
 
 // TestAdvisedStartHasTicket guards against a start on a worker that the advice
-// service has not approved or without its ticket, and against repeated requests
-// about workers whose verdict does not change.
+// service has not approved, against a start without the worker's ticket, and
+// against repeated requests about workers whose verdict is known.
 func TestAdvisedStartHasTicket(t *testing.T) {
 	f := newAdvisedFixture()
 	f.submit("a", smallStep)
@@ -46,17 +46,18 @@
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 0)
 	assert.DeepEqual(t, a.Step, jobs.TaskID{Job: "a"})
 	assert.DeepEqual(t, a.Workers, []jobs.WorkerID{"w1", "w2"})
-	f.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "leave"}, {Worker: "w9", Text: "not asked for"}}}, f.now+30)
+	f.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "ticket-w2"}, {Worker: "w9", Text: "ticket-w9"}}}, f.now+30)
 	f.now += 30
 	p = f.Pass(f.now)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts), 0)
 	assert.Equal(t, len(ordersFor(p, "w2").Starts), 1)
-	assert.Equal(t, ordersFor(p, "w2").Starts[0].Ticket, "leave")
+	assert.Equal(t, ordersFor(p, "w2").Starts[0].Ticket, "ticket-w2")
 	assert.Equal(t, len(actionsOf(p, ActionAdvise)), 0)
 }
 
-// TestOneAdviceRequestAtATime guards against requests that queue at the advice
-// service, which processes one at a time, behind requests for later work.
+// TestOneAdviceRequestAtATime guards against sending several requests at once. The
+// advice service processes one at a time, so urgent requests would queue behind
+// those for later work.
 func TestOneAdviceRequestAtATime(t *testing.T) {
 	f := newAdvisedFixture()
 	f.submit("a", smallStep)
@@ -87,7 +88,7 @@
 }
 
 // TestTicketIsRenewed guards against a start with a ticket that has expired,
-// belongs to an earlier incarnation of the worker, or was refused.
+// belongs to an earlier incarnation of the worker, or was refused by the worker.
 func TestTicketIsRenewed(t *testing.T) {
 	two := smallStep
 	two.TaskCount, two.MaxPerWorker = 2, 1
@@ -96,34 +97,34 @@
 		incarnation jobs.Incarnation
 		next        func(f *fixture, first Orders)
 	}{
-		{"ticket expired", 1, func(f *fixture, first Orders) {
+		{"expired", 1, func(f *fixture, first Orders) {
 			f.now += ticketValidity
 			f.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultDone)...)
 		}},
 		{"new incarnation", 2, func(f *fixture, _ Orders) { f.heartbeat("w1", 2, nil) }},
-		{"refused", 1, func(f *fixture, first Orders) { f.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultRefused)...) }},
+		{"refused by the worker", 1, func(f *fixture, first Orders) { f.heartbeat("w1", 1, nil, endsFor(first, jobs.ResultRefused)...) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newAdvisedFixture()
 			f.submit("a", two)
 			f.heartbeat("w1", 1, nil)
-			f.HandleOutcome(adviceRequest(t, f.Pass(f.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "leave"}}}, f.now)
+			f.HandleOutcome(adviceRequest(t, f.Pass(f.now)), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "old-ticket"}}}, f.now)
 			first := ordersFor(f.Pass(f.now), "w1")
 			assert.Equal(t, len(first.Starts), 1)
 			f.now += 100
 			c.next(f, first)
 			p := f.Pass(f.now)
 			assert.Equal(t, len(ordersFor(p, "w1").Starts), 0)
-			f.HandleOutcome(adviceRequest(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "again"}}}, f.now)
+			f.HandleOutcome(adviceRequest(t, p), Outcome{Tickets: []Ticket{{Worker: "w1", Text: "new-ticket"}}}, f.now)
 			f.heartbeat("w1", c.incarnation, nil)
-			assert.Equal(t, ordersFor(f.Pass(f.now), "w1").Starts[0].Ticket, "again")
+			assert.Equal(t, ordersFor(f.Pass(f.now), "w1").Starts[0].Ticket, "new-ticket")
 		})
 	}
 }
 
-// TestAdviceRequestSize uses a fleet in which few workers may run a step. A
-// request that names all workers is slow and expensive, and one that names too
-// few has to be followed by others.
+// TestAdviceRequestSize uses a fleet in which few workers may run a step. It guards
+// against requests that name all workers, which are slow and expensive, and
+// against requests that stay small although none of the workers was approved.
 func TestAdviceRequestSize(t *testing.T) {
 	f := newAdvisedFixture()
 	for n := range 40 {
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -8,9 +8,8 @@
 	"camphorridge/core/state/place"
 )
 
-// benchmarkFleet returns a scheduler with n workers in pools of 70, each
-// running ten tasks with capacity for more, and the next heartbeat of each
-// worker.
+// benchmarkFleet returns a scheduler with n workers in pools of 70, and the last
+// heartbeat of each worker. Each worker runs ten tasks and has capacity for more.
 func benchmarkFleet(n int) (*testScheduler, []Heartbeat) {
 	state := jobs.New()
 	c := jobs.Config{Version: 1}
@@ -50,8 +49,7 @@
 }
 
 // BenchmarkHeartbeat measures a heartbeat without changes and the pass after it
-// for several fleet sizes. The cost must depend on what has changed, not on the
-// size.
+// for several fleet sizes. The cost must not depend on the size.
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, n := range []int{50, 350, 5100} {
 		b.Run(fmt.Sprint(n, "-workers"), func(b *testing.B) {
--- a/core/state/sched/doc.go
+++ b/core/state/sched/doc.go
@@ -1,8 +1,8 @@
 // Package sched assigns the tasks of submitted jobs to workers, stops them, and
-// schedules the maintenance and moves of machines. It works by answering
-// heartbeats: a worker accepts orders only in the reply to one.
+// orders the maintenance of machines and their moves between pools. A worker
+// accepts orders only in the reply to its heartbeat.
 //
-// The Scheduler works on the leader's own copy of the state of package jobs.
-// Each decision is an operation on that state, and the orders that follow from
-// it may be sent only once the operation is committed.
+// The Scheduler works on the leader's own copy of the state of package jobs. It
+// records each decision that changes this state as an operation. The orders and
+// actions that follow from an operation may be sent only once it is committed.
 package sched
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -17,7 +17,7 @@
 	WaitNone WaitReason = ""
 	// WaitNotDue means that the occurrence is not due.
 	WaitNotDue WaitReason = "not-due"
-	// WaitDependencies means that a step that this one depends on is not done.
+	// WaitDependencies means that the step depends on one that is not done.
 	WaitDependencies WaitReason = "earlier-steps"
 	// WaitNoWorkers means that no worker of the pool has sent a heartbeat
 	// recently.
@@ -37,12 +37,13 @@
 	// WaitPerWorker means that each worker runs the maximum number of tasks of
 	// the step.
 	WaitPerWorker WaitReason = "per-worker"
-	// WaitCapacity means that other tasks take the workers' capacity.
+	// WaitCapacity means that other tasks use the workers' capacity.
 	WaitCapacity WaitReason = "room"
 	// WaitGang means that the workers have enough free resources for some tasks
 	// of a gang, but not for all.
 	WaitGang WaitReason = "gang-room"
-	// WaitHeartbeat means that a worker may get the task at its next heartbeat.
+	// WaitHeartbeat means that a worker meets all requirements and may get the
+	// task at its next heartbeat.
 	WaitHeartbeat WaitReason = "heartbeat"
 )
 
@@ -89,7 +90,7 @@
 	Queue      jobs.QueueName
 	Status     jobs.Status
 	AcceptedAt clock.Millis
-	// Deadline is the latest end at which the job is on time.
+	// Deadline is the latest time at which the job may end to be on time.
 	Deadline clock.Millis
 }
 
@@ -113,7 +114,7 @@
 	return summaries, len(unfinished)
 }
 
-// Explain returns a report on a job; false if the job is unknown.
+// Explain returns a report on a job and whether the job is known.
 func (s *Scheduler[P, H]) Explain(id jobs.ID, now clock.Millis) (JobReport, bool) {
 	rec := s.State.Jobs[id]
 	if rec == nil {
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -29,22 +29,22 @@
 		want  WaitReason
 	}{
 		{name: "no workers", steps: []jobs.Step{smallStep}, setup: func(*fixture) {}, want: WaitNoWorkers},
-		{name: "silent workers", steps: []jobs.Step{smallStep}, setup: func(f *fixture) {
+		{name: "worker without recent heartbeat", steps: []jobs.Step{smallStep}, setup: func(f *fixture) {
 			f.heartbeat("w1", 1, nil)
 			f.now += 2 * f.settings.LeaseMillis
 		}, want: WaitNoWorkers},
-		{name: "label", steps: []jobs.Step{labelled}, want: WaitLabel},
-		{name: "size", steps: []jobs.Step{large}, want: WaitSize},
-		{name: "maintenance", steps: []jobs.Step{smallStep}, setup: func(f *fixture) {
+		{name: "no worker has the label", steps: []jobs.Step{labelled}, want: WaitLabel},
+		{name: "no worker is large enough", steps: []jobs.Step{large}, want: WaitSize},
+		{name: "machine goes down", steps: []jobs.Step{smallStep}, setup: func(f *fixture) {
 			f.heartbeat("w1", 1, nil)
 			f.workers["w1"].goingDown = true
 		}, want: WaitLeaving},
-		{name: "in quarantine", steps: []jobs.Step{smallStep}, setup: func(f *fixture) {
+		{name: "worker in quarantine", steps: []jobs.Step{smallStep}, setup: func(f *fixture) {
 			f.heartbeat("w1", 1, nil)
 			f.workers["w1"].quarantinedUntil = f.now + 1
 		}, want: WaitQuarantine},
 		{name: "maximum per worker", steps: []jobs.Step{onePerWorker}, want: WaitPerWorker},
-		{name: "room", steps: []jobs.Step{wide}, want: WaitCapacity},
+		{name: "capacity for part of the tasks", steps: []jobs.Step{wide}, want: WaitCapacity},
 		{name: "capacity for part of a gang", steps: []jobs.Step{gang}, want: WaitGang},
 		{name: "unfinished dependency", steps: []jobs.Step{smallStep, second}, step: 1, want: WaitDependencies},
 		{name: "no waiting task", steps: []jobs.Step{smallStep}, want: WaitNone},
@@ -76,8 +76,8 @@
 	assert.Equal(t, report.Steps[0].WaitReason, WaitAdvice)
 }
 
-// TestExplainCounts guards against a report whose counts do not match the
-// started, failed and running tasks.
+// TestExplainCounts guards against wrong counts of tasks, runs and failures in a
+// report, and against a list that exceeds its limit.
 func TestExplainCounts(t *testing.T) {
 	f := newFixture(Defaults())
 	two := smallStep
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -9,12 +9,12 @@
 	"camphorridge/core/state/jobs"
 )
 
-// gangWaitMillis is how long a gang waits before lower-ranked tasks are kept
-// off the resources that become free.
-const gangWaitMillis clock.Millis = 200
+// gangReserveDelayMillis is how long a gang waits before resources that become free
+// are reserved for it.
+const gangReserveDelayMillis clock.Millis = 200
 
-// startGang starts all tasks of a gang at once if there is capacity for them. It
-// returns false only if all tasks are waiting but cannot be placed.
+// startGang starts all tasks of a gang at once if all of them are waiting and can
+// be placed. It returns false only if they are waiting and cannot be placed.
 func (s *Scheduler[P, H]) startGang(p *pool, g *taskGroup, now clock.Millis) bool {
 	if len(g.waiting) < g.step.TaskCount {
 		return true
@@ -23,8 +23,8 @@
 	if workers == nil {
 		return false
 	}
-	// All tasks of a gang have been started equally often, so they share the
-	// run number.
+	// The tasks of a gang have all been started equally often, so their next
+	// run numbers are equal.
 	for n, w := range workers {
 		s.startTask(w, g, g.key.taskID(n), now)
 	}
@@ -33,9 +33,9 @@
 }
 
 // chooseGangWorkers returns an available worker for each task of a gang, or nil
-// if not all tasks can be placed. A gang with SameRack works more slowly on
-// several racks, so if a rack is large enough it waits for that rack, for as
-// long as one of its tasks takes.
+// if not all tasks can be placed or the gang should wait. A gang with SameRack
+// works more slowly on several racks. If a rack is large enough for it but has too
+// few free resources, the gang waits for at most the estimate of one of its tasks.
 func (s *Scheduler[P, H]) chooseGangWorkers(p *pool, g *taskGroup, now clock.Millis) []*worker {
 	if !g.step.SameRack {
 		return s.chooseFromRack(p, g, "", now)
@@ -51,7 +51,7 @@
 	return s.chooseFromRack(p, g, "", now)
 }
 
-// racks returns the racks of the workers in sorted order.
+// racks returns the distinct racks of the workers in sorted order.
 func racks(workers map[jobs.WorkerID]*worker) []string {
 	seen := map[string]bool{}
 	for _, w := range workers {
@@ -60,10 +60,9 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// chooseFromRack returns an available worker of a rack, or of any rack if rack
-// is empty, for each task of a gang; nil if not all tasks can be placed. As for
-// single tasks, workers on the rack of the data are preferred, then fuller
-// ones.
+// chooseFromRack returns an available worker of a rack, or of any rack if rack is
+// empty, for each task of a gang; nil if not all tasks can be placed. Workers are
+// preferred in the same order as for single tasks.
 func (s *Scheduler[P, H]) chooseFromRack(p *pool, g *taskGroup, rack string, now clock.Millis) []*worker {
 	failed := s.failedWorkers(g)
 	byScore := slices.SortedFunc(maps.Values(p.available), func(x, y *worker) int {
@@ -74,7 +73,7 @@
 	})
 	var chosen []*worker
 	for _, w := range byScore {
-		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.waitingSince < otherWorkerMillis) || !s.canRun(w, g, now) {
+		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.waitingSince < otherWorkerWaitMillis) || !s.canRun(w, g, now) {
 			continue
 		}
 		for range min(w.fitCount(w.capacity.Minus(w.used), g), g.step.TaskCount-len(chosen)) {
@@ -98,8 +97,8 @@
 	return failed
 }
 
-// fitCount returns how many tasks of the group fit into the free resources of
-// the worker.
+// fitCount returns how many tasks of the group fit into the given resources of
+// the worker, at most MaxPerWorker.
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
 	reserved, n := reservation(g.step), 0
 	limit := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
@@ -110,9 +109,9 @@
 	return n
 }
 
-// gangCapacity returns the number of tasks of the group that the pool's
-// workers, and the workers of its best rack, can run once all tasks except
-// long-running ones have ended.
+// gangCapacity returns the numbers of tasks of the group that the workers of the
+// pool, and those of its rack with the most capacity, can run once all other tasks
+// except long-running ones have ended.
 func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (inPool, inBestRack int) {
 	byRack := map[string]int{}
 	for w := range s.liveWorkers(p, now) {
@@ -139,21 +138,21 @@
 	return free
 }
 
-// reservesCapacity reports whether lower-ranked work must leave the free
-// resources of the pool to a gang. Otherwise a wide gang would never find
-// enough of them at once. A gang that is late, that the pool cannot hold or
-// that waits for advice reserves none.
+// reservesCapacity reports whether the free resources of the pool are reserved for
+// a gang, so that lower-ranked work must wait. Without this, a gang of many tasks
+// would never find enough free resources at once. Nothing is reserved for a gang
+// that is late, that does not fit in the pool or that waits for advice.
 func (s *Scheduler[P, H]) reservesCapacity(p *pool, g *taskGroup, now clock.Millis) bool {
-	if g.rank.Class == classLate || now-g.waitingSince < gangWaitMillis {
+	if g.rank.Class == classLate || now-g.waitingSince < gangReserveDelayMillis {
 		return false
 	}
 	inPool, _ := s.gangCapacity(p, g, now)
 	return inPool >= g.step.TaskCount
 }
 
-// stopGang stops the other tasks of a gang after a task has ended before the
-// gang's work was done. They cannot work without it, and all of them start
-// again together.
+// stopGang stops the other tasks of a gang after task t has ended before the work
+// of the gang was done. They cannot work without it, and all tasks must start again
+// together. stopGang has no effect if t is not part of a gang.
 func (s *Scheduler[P, H]) stopGang(rec *jobs.Record, t jobs.TaskID) {
 	if !rec.Steps[t.Step].Gang {
 		return
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -21,8 +21,8 @@
 	return out
 }
 
-// TestGangStartsTogether guards against a part of a gang that takes capacity
-// while it waits for the rest.
+// TestGangStartsTogether guards against starting only some tasks of a gang, which
+// would take capacity while they wait for the others.
 func TestGangStartsTogether(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
@@ -33,9 +33,9 @@
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 6)
 }
 
-// TestGangRestartsTogether guards against restarting one task of a gang next to
-// the others of the earlier run, with another run number or from another
-// checkpoint. Such a gang could never work.
+// TestGangRestartsTogether guards against restarting one task of a gang while the
+// others still run, and against restarting the tasks with different run numbers or
+// from different checkpoints. Such a gang could never work.
 func TestGangRestartsTogether(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
@@ -51,7 +51,7 @@
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 0)
 	assert.Equal(t, len(ordersFor(p, "w1").Stops), len(first.Starts)-1)
 	assert.Equal(t, len(ordersFor(p, "w2").Stops), len(second.Starts))
-	f.now += otherWorkerMillis
+	f.now += otherWorkerWaitMillis
 	f.heartbeat("w1", 1, nil)
 	f.heartbeat("w2", 1, nil)
 	p = f.Pass(f.now)
@@ -89,15 +89,15 @@
 }
 
 // TestGangFailuresCountByRun guards against a job that fails too early because
-// several tasks of one run of a gang failed, and against one that never fails
-// because each run fails in another task.
+// several tasks of one run of its gang fail, and against a job that never fails
+// because a different task fails in each run.
 func TestGangFailuresCountByRun(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
 	number := int64(0)
 	for attempt := range 2 {
 		assert.Equal(t, f.State.Jobs["g"].Status.Final(), false)
-		f.now += otherWorkerMillis
+		f.now += otherWorkerWaitMillis
 		f.heartbeat("w1", 1, nil)
 		f.heartbeat("w2", 1, nil)
 		p := f.Pass(f.now)
@@ -125,8 +125,9 @@
 	assert.Equal(t, report.Steps[0].Failures, 2)
 }
 
-// TestGangReservesCapacity runs a full pool with a constant stream of small
-// tasks. Without reserved capacity a wide gang would never start.
+// TestGangReservesCapacity runs a full pool with a constant stream of small tasks.
+// It guards against a gang that never starts because small tasks take each part of
+// the capacity as soon as it becomes free.
 func TestGangReservesCapacity(t *testing.T) {
 	f := newFixture(Defaults())
 	fill := smallStep
@@ -185,7 +186,7 @@
 			f.heartbeat("w1", 1, nil)
 			running := runsFor(ordersFor(f.Pass(f.now), "w1"))
 			f.submit("g", wide)
-			f.now += 2 * gangWaitMillis
+			f.now += 2 * gangReserveDelayMillis
 			g := f.pool("p").groups
 			assert.Assert(t, !f.reservesCapacity(f.pool("p"), g[len(g)-1], f.now))
 			if c.before == nil {
@@ -198,16 +199,17 @@
 	}
 }
 
-// TestGangKeepsToOneRack guards against spreading a SameRack gang over two
-// racks, where its tasks take several times as long, although one rack has
-// capacity now or soon, and against waiting although no rack is large enough.
+// TestGangKeepsToOneRack guards against spreading a SameRack gang over two racks
+// although one rack has capacity now or soon; its tasks take several times as long
+// on two racks. It also guards against waiting although no rack is large enough.
 func TestGangKeepsToOneRack(t *testing.T) {
 	sameRack := gangStep
 	sameRack.TaskCount, sameRack.SameRack = 5, true
 	for _, c := range []struct {
 		name string
-		// racks are the racks of the workers that send a heartbeat. busy is the
-		// rack of a further worker that is available only later.
+		// racks are the racks of the workers that send a heartbeat, and want the
+		// numbers of tasks that these start. busy is the rack of a further worker
+		// that is not available yet; empty for none.
 		racks []string
 		busy  string
 		want  []int
@@ -244,9 +246,9 @@
 	}
 }
 
-// TestNewLeaderStopsBrokenGang guards against a gang that lost a task under an
-// earlier leader and whose other tasks keep their capacity until their own
-// timeout.
+// TestNewLeaderStopsBrokenGang guards against a new leader that leaves a gang
+// running which lost a task under an earlier leader. The other tasks would keep
+// their capacity until they time out.
 func TestNewLeaderStopsBrokenGang(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
@@ -260,9 +262,9 @@
 	assert.Equal(t, len(ordersFor(next.Pass(next.now), "w2").Stops), len(rest))
 }
 
-// TestQueueMovedToPoolIsPlacedAtOnce guards against waiting work that moves
-// with its queue to another pool and is placed only at that pool's next
-// heartbeat.
+// TestQueueMovedToPoolIsPlacedAtOnce guards against delays after a configuration
+// assigns a queue to another pool: its waiting work must not wait for the next
+// heartbeat from that pool.
 func TestQueueMovedToPoolIsPlacedAtOnce(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("a", smallStep)
@@ -289,7 +291,7 @@
 	f.now += 400
 	f.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
 	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 0)
-	f.now += otherWorkerMillis
+	f.now += otherWorkerWaitMillis
 	f.heartbeat("w1", 1, nil)
 	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 1)
 }
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -9,10 +9,10 @@
 	"camphorridge/core/state/place"
 )
 
-// Heartbeat processes a heartbeat; its reply is part of a later plan. It
-// returns false for an outdated heartbeat: one of an incarnation that was
-// removed or is earlier than the current one of the worker or the machine, or
-// one that is not newer than the last one processed.
+// Heartbeat processes a heartbeat; the reply is part of a later plan. It ignores
+// an outdated heartbeat and returns false: one whose incarnation was removed or
+// is earlier than that of the worker or of another worker on the machine, or
+// whose sequence number is not higher than that of the last heartbeat processed.
 func (s *Scheduler[P, H]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	s.now = max(s.now, now)
 	w := s.workers[h.Worker]
@@ -56,8 +56,8 @@
 	return true
 }
 
-// replyBy sets the time at which a worker's heartbeat must be answered, unless
-// it is due earlier.
+// replyBy sets the time at which a worker's heartbeat must be answered, unless an
+// earlier time is set.
 func (s *Scheduler[P, H]) replyBy(w *worker, at clock.Millis) {
 	if w.heartbeat == nil || (w.heartbeat.hasReplyBy && w.heartbeat.replyBy <= at) {
 		return
@@ -86,8 +86,8 @@
 	}
 }
 
-// rackOf returns the label that identifies a worker's rack: the last label that
-// contains a hyphen.
+// rackOf returns the label that identifies a worker's rack, which is the last one
+// that contains a hyphen; empty for none.
 func rackOf(labels []string) string {
 	for i := len(labels) - 1; i >= 0; i-- {
 		if strings.Contains(labels[i], "-") {
@@ -97,8 +97,8 @@
 	return ""
 }
 
-// handleRunEnds processes the run ends in a heartbeat and returns the highest
-// end number.
+// handleRunEnds processes the run ends in a heartbeat and returns the highest of
+// their numbers; 0 for none.
 func (s *Scheduler[P, H]) handleRunEnds(w *worker, h Heartbeat, now clock.Millis) int64 {
 	ack := int64(0)
 	for _, e := range h.Ends {
@@ -112,8 +112,10 @@
 	return ack
 }
 
-// endRun records the end of a run and queues the tasks that can start because
-// of it.
+// endRun records the end of a run and queues the tasks that can start because of
+// it: those of dependent steps or, if the run did not complete its task, that
+// task. In the latter case the other tasks of its gang are stopped. If the job has
+// ended, all its tasks are stopped instead.
 func (s *Scheduler[P, H]) endRun(w *worker, r *run, result jobs.Result, checkpoint string, now clock.Millis) {
 	if checkpoint == "" {
 		checkpoint = r.checkpoint
@@ -205,8 +207,8 @@
 	w.unassigned = nil
 }
 
-// addUnassigned records a run that is not assigned to the worker. It takes
-// capacity until it has ended.
+// addUnassigned records a run that is not assigned to the worker. Its resources
+// count as used while the worker lists it.
 func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
 	extra := unassignedRun{run: status.Run}
 	if rec := s.State.Jobs[status.Task.Job]; rec != nil && status.Task.Step >= 0 && status.Task.Step < len(rec.Steps) {
@@ -220,10 +222,11 @@
 }
 
 // repeatOrders repeats the orders that, according to the heartbeat, did not
-// arrive, and stops the runs that are not assigned to the worker. A heartbeat
-// that does not list a run was sent after the worker had processed or dropped
-// the reply with its start order, so that reply can no longer start it; if the
-// run should not start any more, it is ended as lost.
+// arrive, and orders the stop of the runs that are not assigned to the worker.
+// When a worker sends a heartbeat, it has processed or dropped the reply to the
+// one before. An earlier start order for a run that the heartbeat does not list
+// can therefore no longer take effect, and if the run should not start any more, it
+// is ended as lost.
 func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
 	for t, extra := range w.unassigned {
 		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
@@ -243,8 +246,8 @@
 	}
 }
 
-// needed reports whether the job still needs the run: the job has not ended,
-// and the run's gang has not completed through another task.
+// needed reports whether the job still needs the run: the job has not ended, and
+// the task was not completed by the end of another task of its gang.
 func (r *run) needed() bool {
 	t := r.rec.Task(r.task)
 	return !r.rec.Status.Final() && t.Phase == jobs.PhaseAssigned && t.Run == r.number
@@ -254,7 +257,7 @@
 // starts elsewhere before the worker exits.
 func (s *Scheduler[P, H]) stopForDrain(w *worker, r *run, now clock.Millis) {
 	if r.step.LongRunning && !r.stopping {
-		s.stopRun(w, r, "its worker drains")
+		s.stopRun(w, r, "the worker is draining")
 	}
 }
 
@@ -283,12 +286,12 @@
 // any.
 func (s *Scheduler[P, H]) RemoveWorker(id jobs.WorkerID, incarnation jobs.Incarnation, now clock.Millis) {
 	if w := s.workers[id]; w != nil && (incarnation == 0 || incarnation == w.incarnation) {
-		s.dropWorker(w, "the worker left", now)
+		s.dropWorker(w, "the worker exited", now)
 	}
 }
 
-// dropWorker removes an incarnation of a worker that can no longer run
-// anything; its tasks may start elsewhere.
+// dropWorker removes an incarnation of a worker that can no longer run anything,
+// and ends its runs as lost so that the tasks start elsewhere.
 func (s *Scheduler[P, H]) dropWorker(w *worker, reason string, now clock.Millis) {
 	s.loseRuns(w, reason, now)
 	s.removedIncarnations[w.id] = max(s.removedIncarnations[w.id], w.incarnation)
@@ -311,10 +314,10 @@
 	s.clearUnassigned(w)
 }
 
-// updateHealth adds the result of a run to the worker's failure score, in
-// comparison with the results of the queue's tasks on other workers, and
-// quarantines the worker above a threshold. Several failures of one job count
-// once, because a job that cannot succeed fails on every worker.
+// updateHealth updates the worker's failure score with the result of a run,
+// which is compared to the results of the queue's tasks on other workers. It
+// quarantines the worker when the score reaches a threshold. Successive failures
+// of one job count once, because a job that cannot succeed fails on every worker.
 func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
 	p := s.pool(w.pool)
 	history := p.history[r.rec.Queue]
@@ -341,13 +344,13 @@
 	}
 }
 
-// quarantineFailedJobs is the number of consecutive jobs that must fail on a
-// worker before it is quarantined.
+// quarantineFailedJobs is the number of jobs that must fail on a worker, without
+// a successful run in between, before it is quarantined.
 const quarantineFailedJobs = 2
 
-// replyTime returns when a heartbeat must be answered. A worker whose task may
-// end soon is answered immediately, because it reports the end only after the
-// reply.
+// replyTime returns when a worker's heartbeat must be answered. It is answered
+// immediately if a task of the worker may end soon, because the worker can
+// report the end only after the reply.
 func (s *Scheduler[P, H]) replyTime(w *worker, now clock.Millis) clock.Millis {
 	if w.heartbeat.urgent || len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0 {
 		return now
@@ -365,9 +368,9 @@
 	return now + hold
 }
 
-// predictNextEnd predicts when the next task of the worker ends, from the
-// task's progress or, without progress, three quarters of its estimate. ok is
-// false for a worker without finite tasks.
+// predictNextEnd predicts when the next task of the worker ends. The prediction
+// is based on the progress of each task or, if that is unknown, on three quarters
+// of its estimate. ok is false if the worker runs no finite task.
 func (w *worker) predictNextEnd(now clock.Millis) (at clock.Millis, ok bool) {
 	for _, r := range w.runs {
 		if r.step.LongRunning {
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -2,10 +2,10 @@
 
 import "camphorridge/core/state/jobs"
 
-// Decision names the decision that a note explains. It is written to logs.
+// Decision is the kind of decision that a note explains. It is written to logs.
 type Decision string
 
-// The decisions.
+// The kinds of decision.
 const (
 	DecisionAccepted            Decision = "job-accepted"
 	DecisionCompleted           Decision = "job-completed"
@@ -26,7 +26,8 @@
 	DecisionMaintenanceDropped  Decision = "maintenance-dropped"
 )
 
-// Decisions lists all decisions, for the documentation page that explains them.
+// Decisions lists all kinds of decision, for the documentation page that explains
+// them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
 	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
@@ -55,8 +56,8 @@
 	Run      int
 	Worker   jobs.WorkerID
 	Reason   string
-	// Important is set for a decision that a caller may complain about. Its log
-	// line is kept when others are dropped.
+	// Important is set for a decision that a submitter may ask about, such as a
+	// failed or late job. Its log line is kept when others are dropped.
 	Important bool
 }
 
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Pass makes the scheduling decisions that are due. The plan's orders may be
-// sent only once its operations are committed. The cost of a pass depends on
-// what has changed since the last one, not on the size of the fleet.
+// Pass makes the scheduling decisions that are due. The plan's orders and actions
+// may be sent only once its operations are committed. The cost of a pass depends
+// on what has changed since the last one and not on the size of the fleet.
 func (s *Scheduler[P, H]) Pass(now clock.Millis) Plan {
 	s.now = max(s.now, now)
 	s.expireLeases(now)
@@ -29,7 +29,7 @@
 	return plan
 }
 
-// expireLeases ends the runs of workers whose longest possible lease has ended.
+// expireLeases ends the runs of the workers whose lease has certainly ended.
 func (s *Scheduler[P, H]) expireLeases(now clock.Millis) {
 	for s.leaseEnds.Len() > 0 && s.leaseEnds.Top().at < now {
 		w := s.leaseEnds.Pop().w
@@ -48,12 +48,12 @@
 	}
 }
 
-// stopStalledRuns stops tasks that make no progress, so that they start
-// elsewhere, and quarantines their worker.
+// stopStalledRuns stops the worker's tasks that make no progress, so that they
+// start elsewhere, and quarantines the worker if there are any.
 func (s *Scheduler[P, H]) stopStalledRuns(w *worker, now clock.Millis) {
 	for _, r := range w.runs {
-		// A best-effort task may stall because other tasks leave no processor
-		// time to it.
+		// A best-effort task may stall because other tasks use all processor
+		// time.
 		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
 			continue
 		}
@@ -71,8 +71,8 @@
 		return
 	}
 	s.sortGroups(p, now)
-	// unplaceable holds the reservations for which no available worker has
-	// enough free resources.
+	// unplaceable holds reservations that fit on no available worker. Groups
+	// that reserve at least as much are skipped.
 	var unplaceable []jobs.Resources
 	for _, g := range p.groups {
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
@@ -121,9 +121,9 @@
 	s.noteRun(DecisionStarted, r, w, "")
 }
 
-// otherWorkerMillis is how long a task waits for a worker other than the one it
-// failed on. Its pool may have no other.
-const otherWorkerMillis = clock.Second
+// otherWorkerWaitMillis is how long a task waits for a worker other than the one
+// that it failed on. The wait is limited because the pool may have no other.
+const otherWorkerWaitMillis = clock.Second
 
 // chooseWorker returns the best worker for a task of a group, or nil if there
 // is none. hasCapacity reports whether any worker has enough free resources,
@@ -137,7 +137,7 @@
 			continue
 		}
 		hasCapacity = true
-		if (w.id == failedOn && now-g.waitingSince < otherWorkerMillis) || !s.canRun(w, g, now) {
+		if (w.id == failedOn && now-g.waitingSince < otherWorkerWaitMillis) || !s.canRun(w, g, now) {
 			continue
 		}
 		if candidate := s.scoreWorker(w, g); best == nil || candidate.better(bestScore) {
@@ -184,11 +184,12 @@
 type score struct {
 	// nearData is set if the worker is on the rack of the step's data.
 	nearData bool
-	// spreadCost is the cost of running a long-running task next to the tasks
-	// that it should be kept apart from.
+	// spreadCost is the cost of placing a long-running task near tasks that it
+	// should be kept apart from; see the method of the same name.
 	spreadCost int
-	// free is the number of free milli-cores. A fuller worker is preferred, so
-	// that other workers run nothing and can be moved or powered off.
+	// free is the number of free milli-cores. Workers with fewer are preferred,
+	// so that other workers become idle and their machines can be moved or
+	// powered off.
 	free int
 	// id breaks ties.
 	id jobs.WorkerID
@@ -210,21 +211,24 @@
 	return result
 }
 
-// The costs of placing a long-running task on a worker. sameStepCost applies
-// for each task of the same step on the worker, mixedCost for each long-running
-// task on it that is best-effort while the placed task is not, or the reverse.
-// firstLongRunningCost applies if the worker runs no long-running task yet; it
-// keeps workers free that can be moved or powered off.
+// The costs of placing a long-running task on a worker.
 const (
-	sameStepCost         = 100
-	mixedCost            = 10
+	// sameStepCost applies for each task of the same step on the worker. Each
+	// one on another available worker of the rack costs 1.
+	sameStepCost = 100
+	// mixedBestEffortCost applies for each long-running task on the worker that
+	// is best-effort while the placed task is not, or the reverse.
+	mixedBestEffortCost = 10
+	// firstLongRunningCost applies if the worker runs no long-running task, so
+	// that some workers stay without and their machines can be moved or powered
+	// off.
 	firstLongRunningCost = 5
 )
 
 // spreadCost returns the cost of placing a long-running task of the group on a
-// worker. It counts the tasks of the step that would be lost together with the
-// worker or its rack, and the serving tasks that a best-effort task would slow
-// down.
+// worker. The cost grows with the number of tasks of the step that would be lost
+// together with the worker or its rack, and with the number of long-running tasks
+// that a best-effort task would slow down.
 func (s *Scheduler[P, H]) spreadCost(w *worker, g *taskGroup) int {
 	cost := sameStepCost * w.taskCount(g.key)
 	if !w.hasLongRunning() {
@@ -237,7 +241,7 @@
 	}
 	for _, r := range w.runs {
 		if r.step.LongRunning && (r.step.BestEffort != g.step.BestEffort) {
-			cost += mixedCost
+			cost += mixedBestEffortCost
 		}
 	}
 	return cost
@@ -260,9 +264,9 @@
 	}
 }
 
-// retryAfter returns the pause until a worker's next heartbeat: until the next
-// expected end of a task, limited by MinRetryMillis and MaxRetryMillis, or
-// MinRetryMillis for a worker that waits for work.
+// retryAfter returns the pause until a worker's next heartbeat. It lasts until
+// the next expected end of a task, within MinRetryMillis and MaxRetryMillis. For
+// a worker without finite tasks, which waits for work, it is MinRetryMillis.
 func (s *Scheduler[P, H]) retryAfter(w *worker, now clock.Millis) clock.Millis {
 	end, ok := w.predictNextEnd(now)
 	if !ok {
@@ -270,7 +274,7 @@
 	}
 	longest := s.settings.MaxRetryMillis
 	if s.pool(w.pool).hasWaiting() {
-		// A waiting task should get the free resources as soon as a task ends.
+		// Waiting tasks should get the resources of a task soon after it ends.
 		longest = 2 * s.settings.MinRetryMillis
 	}
 	return min(max(end-now, s.settings.MinRetryMillis), longest)
@@ -291,7 +295,7 @@
 	if s.fleet.nextRebalance > now {
 		at = min(at, s.fleet.nextRebalance)
 	}
-	if t, ok := s.nextMaintenanceCheck(now); ok {
+	if t, ok := s.nextWaveCheckDue(now); ok {
 		at = min(at, t)
 	}
 	return max(at, now+1)
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -25,7 +25,8 @@
 	Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank
 }
 
-// The classes of waiting work, in the order in which they are placed.
+// The classes of waiting work in EarliestDeadline, in the order in which they are
+// placed.
 const (
 	classLongRunning = iota
 	classOnTime
@@ -39,15 +40,15 @@
 	return from + rec.Target + rec.CriticalPath()*clock.Millis(rec.StretchPermille)/1000
 }
 
-// EarliestDeadline places work in the order of deadlines, and work that will
-// miss its deadline after all work that can still meet it. It is meant for a
-// load that exceeds the capacity of the workers for some seconds and is below it
-// afterwards: without the second rule every job of such a peak would start just
-// too late.
+// EarliestDeadline places work in the order of deadlines, but work that will miss
+// its deadline after all work that can still meet it. It is meant for a load that
+// exceeds the capacity of the workers for some seconds and is below it
+// afterwards. In the order of deadlines alone, every job of such a peak would
+// start just too late.
 type EarliestDeadline struct{}
 
-// Rank ranks long-running work first, by priority, then work that can meet its
-// deadline and last late work, both by deadline.
+// Rank ranks jobs with long-running tasks first, by priority, then work that can
+// meet its deadline, and last work that cannot, both by deadline.
 func (EarliestDeadline) Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank {
 	rank := Rank{Class: classOnTime, Key: Deadline(rec, occurrence), Seq: rec.Seq}
 	switch {
@@ -93,18 +94,18 @@
 
 // pool is the waiting work and the available workers of one pool.
 type pool struct {
-	// groups holds the steps with waiting tasks. sorted is false after an
-	// addition.
+	// groups holds the groups of waiting tasks. sorted is false if a group was
+	// added since the last sort.
 	groups []*taskGroup
 	sorted bool
 	// rankedAt is when the ranks were last recomputed.
 	rankedAt    clock.Millis
 	groupByStep map[stepKey]*taskGroup
-	// available holds the workers whose heartbeat waits for its reply; only
-	// these can be given tasks.
+	// available holds the workers that are not draining and have a heartbeat
+	// without a reply. Tasks can be assigned only to these.
 	available map[jobs.WorkerID]*worker
-	// newWork is the work submitted since the last update of arrivalRate, in
-	// milli-cores times milliseconds, although its type is clock.Millis.
+	// newWork is the work that has arrived since the last update of arrivalRate,
+	// in milli-cores times milliseconds, although its type is clock.Millis.
 	newWork clock.Millis
 	// arrivalRate is the moving average of the work that arrives per
 	// millisecond, in milli-cores, over about half a second.
@@ -128,14 +129,13 @@
 	return jobs.TaskID{Job: k.job, Occurrence: k.occurrence, Step: k.step, Index: index}
 }
 
-// taskGroup is the waiting tasks of one step.
+// taskGroup holds the waiting tasks of one step of an occurrence.
 type taskGroup struct {
 	key  stepKey
 	rec  *jobs.Record
 	step *jobs.Step
-	// waiting holds the indexes of the waiting tasks in reverse order: the next
-	// one is last. waitingSince is when the group last changed from empty to
-	// waiting.
+	// waiting holds the indexes of the waiting tasks; the last one starts first.
+	// waitingSince is when the first task was added to the empty group.
 	waiting      []int
 	waitingSince clock.Millis
 	rank         Rank
@@ -233,7 +233,8 @@
 	s.dirtyPools[p] = true
 }
 
-// reassignPools moves waiting work to the pools of the current configuration.
+// reassignPools moves waiting work to the pools that the current configuration
+// assigns to its queues.
 func (s *Scheduler[P, H]) reassignPools() {
 	for name, p := range s.pools {
 		kept := p.groups[:0]
@@ -253,7 +254,7 @@
 	}
 }
 
-// maxRankAgeMillis limits the age of the ranks of waiting work. A rank changes
+// maxRankAgeMillis limits the age of the ranks of waiting work. They change only
 // when work becomes late, which takes seconds.
 const maxRankAgeMillis clock.Millis = 100
 
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -19,31 +19,31 @@
 	// machines before the first success, and listPeriodMillis after it.
 	listRetryMillis  = clock.Second
 	listPeriodMillis = 20 * clock.Second
-	// moveTimeoutMillis is how long a move may take before the scheduler gives
-	// up on it.
+	// moveTimeoutMillis is how long the scheduler waits for the end of a move.
+	// It is also how long a machine is not moved after an unanswered order.
 	moveTimeoutMillis = 5 * clock.Second
 	// moveRetryMillis is the pause before a machine is moved again after its
 	// move was refused.
 	moveRetryMillis = clock.Second
 	// unplacedWaitMillis is how long a long-running task waits before its pool
-	// requests another machine for it. It covers the longest delay of a reply
-	// to a heartbeat.
+	// counts as lacking a machine for it. It is longer than the maximum delay of
+	// a reply to a heartbeat.
 	unplacedWaitMillis clock.Millis = 800
 	// loadNotePeriodMillis is the interval between two notes about the load of
 	// the pools.
 	loadNotePeriodMillis = 2 * clock.Second
 )
 
-// machineFleet is the state of the machines apart from their workers.
+// machineFleet is what is known of machines beyond the state of their workers.
 type machineFleet struct {
 	// standby holds the machines that are powered off, with their standby pool.
 	standby map[jobs.MachineID]jobs.PoolName
 	// moves holds the machines that are being moved. notMovableUntil holds the
-	// time before which a machine is not moved, after a refused or unanswered
-	// move or a move to standby.
+	// time until which a machine is not moved again, after a refused or
+	// unanswered order or a move to the standby pool.
 	moves           map[jobs.MachineID]machineMove
 	notMovableUntil map[jobs.MachineID]clock.Millis
-	// machineSize is the capacity of the largest machine seen.
+	// machineSize is the capacity of the machine with the most processors seen.
 	machineSize jobs.Resources
 	// listPending is set while a request for the list of machines is pending.
 	listPending bool
@@ -53,13 +53,12 @@
 	listFailed      bool
 	listRequestedAt clock.Millis
 	listedAt        clock.Millis
-	// hadFiniteWork is set once a job without long-running tasks was submitted;
-	// see the method of the same name.
-	hadFiniteWork bool
-	// nextRebalance is the time of the next check of the load, and notedAt that
-	// of the latest notes about it.
+	// finiteWorkSeen caches a positive result of the method of the same name.
+	finiteWorkSeen bool
+	// nextRebalance is the time of the next check of the pools' load, and
+	// loadsNotedAt that of the latest notes about it.
 	nextRebalance clock.Millis
-	notedAt       clock.Millis
+	loadsNotedAt  clock.Millis
 }
 
 // machineMove is the move of a machine to another pool.
@@ -80,9 +79,9 @@
 // poolLoad is the load of one pool.
 type poolLoad struct {
 	name jobs.PoolName
-	// machines counts the usable machines of the pool and those being moved to
-	// it. needed is the number of machines that can start its waiting work in
-	// time.
+	// machines counts the machines of the pool whose workers can get tasks, and
+	// those being moved to it. needed is the number of machines that the pool
+	// needs to start its waiting work in time.
 	machines int
 	needed   int
 	// idle lists the workers that run nothing, the longest idle first. busy
@@ -93,10 +92,10 @@
 }
 
 // rebalance moves machines to pools whose waiting work does not start in time:
-// first machines that are powered off, then idle machines of other pools.
-// Machines that stay idle are moved to the standby pool. It is designed for
-// pools whose loads rise in turn to several times their mean for some seconds,
-// while a move takes about a second and a half.
+// first machines of the standby pool, which are powered off, then idle machines
+// of other pools. Machines that stay idle are moved to the standby pool. This is
+// designed for pools whose loads rise, one after the other, to several times
+// their mean for some seconds, and for moves that take about 1.5 seconds.
 func (s *Scheduler[P, H]) rebalance(now clock.Millis) {
 	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance || now < s.termStart+s.settings.TakeoverDelayMillis {
 		return
@@ -117,36 +116,37 @@
 	missing := 0
 	for _, load := range loads {
 		for n := load.needed - load.machines; n > 0; n-- {
-			if !s.bringMachine(load, loads, now) {
+			if !s.moveMachineTo(load, loads, now) {
 				missing += n
 				break
 			}
 		}
 	}
 	s.vacateWorkers(loads, missing)
-	if s.hadFiniteWork() {
+	if s.finiteWorkSeen() {
 		s.releaseIdle(loads, standby, now)
 	}
 }
 
-// hadFiniteWork reports whether a job without long-running tasks was submitted.
-// Without this check a newly started fleet would be powered off just before its
-// first load.
-func (s *Scheduler[P, H]) hadFiniteWork() bool {
-	if !s.fleet.hadFiniteWork {
+// finiteWorkSeen reports whether a job without long-running tasks has been
+// submitted. Idle machines are kept until then; otherwise a newly started fleet
+// would be powered off just before its first load.
+func (s *Scheduler[P, H]) finiteWorkSeen() bool {
+	if !s.fleet.finiteWorkSeen {
 		for _, rec := range s.State.Jobs {
-			s.fleet.hadFiniteWork = s.fleet.hadFiniteWork || !hasLongRunningStep(&rec.Job)
+			s.fleet.finiteWorkSeen = s.fleet.finiteWorkSeen || !hasLongRunningStep(&rec.Job)
 		}
 	}
-	return s.fleet.hadFiniteWork
+	return s.fleet.finiteWorkSeen
 }
 
-// noteLoads adds a note on the load of each pool to the plan every few seconds.
+// noteLoads adds a note on the load of each pool to the plan, at intervals of
+// loadNotePeriodMillis.
 func (s *Scheduler[P, H]) noteLoads(loads []*poolLoad, now clock.Millis) {
-	if now < s.fleet.notedAt+loadNotePeriodMillis {
+	if now < s.fleet.loadsNotedAt+loadNotePeriodMillis {
 		return
 	}
-	s.fleet.notedAt = now
+	s.fleet.loadsNotedAt = now
 	for _, load := range loads {
 		withLongRunning := 0
 		for _, w := range s.workers {
@@ -155,7 +155,7 @@
 			}
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
-			"pool %s has %d machines of %d wanted, %d idle, %d with lasting tasks, %d ms of work waits",
+			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d core-ms of work waiting",
 			load.name, load.machines, load.needed, len(load.idle), withLongRunning, s.pool(load.name).waitingWork()/1000))
 	}
 }
@@ -170,7 +170,8 @@
 	return false
 }
 
-// standbyPool returns the pool whose machines are powered off; empty for none.
+// standbyPool returns the name of the first pool whose machines are powered off;
+// empty for none.
 func (s *Scheduler[P, H]) standbyPool() jobs.PoolName {
 	for _, p := range s.State.Config.Pools {
 		if p.Standby {
@@ -180,8 +181,9 @@
 	return ""
 }
 
-// refreshMachineList requests the list of machines when the latest one is old.
-// It reports whether a list was received, or a request failed, in this term.
+// refreshMachineList requests the list of machines if the latest one is old. It
+// reports whether at least one request of this term has been answered or has
+// failed.
 func (s *Scheduler[P, H]) refreshMachineList(now clock.Millis) bool {
 	f := &s.fleet
 	interval := listPeriodMillis
@@ -200,8 +202,8 @@
 	f := &s.fleet
 	f.listPending = false
 	if outcome.Answer != AnswerDone {
-		// Without a list the standby machines are unknown, but machines can
-		// still be moved between pools.
+		// Without a list the standby machines are unknown, but idle machines
+		// can still be moved.
 		f.listFailed = true
 		s.noteFleet(DecisionListFailed, outcome.String())
 		return
@@ -227,8 +229,9 @@
 	}
 }
 
-// poolLoads measures the pools that are not standby pools and returns them
-// ordered by the number of missing machines, the most first.
+// poolLoads returns the loads of all pools except standby pools, those that lack
+// the most machines first. It also updates the arrival rates, the machine size
+// and how long workers have been idle.
 func (s *Scheduler[P, H]) poolLoads(now clock.Millis) []*poolLoad {
 	byPool := map[jobs.PoolName]*poolLoad{}
 	for _, p := range s.State.Config.Pools {
@@ -249,7 +252,7 @@
 			load.machines--
 			continue
 		}
-		busyMilliCores[w.pool] += w.load(now, s.settings.BacklogTargetMillis)
+		busyMilliCores[w.pool] += w.requiredMilliCores(now, s.settings.BacklogTargetMillis)
 		if len(w.runs)+len(w.unassigned) == 0 {
 			if w.idleSince == 0 {
 				w.idleSince = now
@@ -290,9 +293,9 @@
 	})
 }
 
-// machinesForUnplacedTasks returns the number of machines that waiting
-// long-running tasks still need after no available worker could take them,
-// mostly because the number of tasks of a step on one worker is limited.
+// machinesForUnplacedTasks returns the number of additional machines that the
+// pool needs for long-running tasks which no available worker could take, mostly
+// because their step limits the tasks on one worker.
 func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
@@ -315,7 +318,7 @@
 	return -1
 }
 
-// finiteWork returns the work of some tasks of a step, each of the given
+// finiteWork returns the work of a number of tasks of a step, each of the given
 // duration; 0 for long-running and best-effort tasks. The unit is milli-cores
 // times milliseconds, although the type is clock.Millis.
 func finiteWork(step *jobs.Step, tasks int, duration clock.Millis) clock.Millis {
@@ -325,11 +328,11 @@
 	return clock.Millis(tasks*step.Resources.MilliCores) * duration
 }
 
-// load returns the processors that the worker's tasks need to finish within the
-// given time: the whole reservation of a long-running task, and the remaining work
-// of other tasks divided by that time. The unit is milli-cores, although the type
-// is clock.Millis.
-func (w *worker) load(now, within clock.Millis) clock.Millis {
+// requiredMilliCores returns the processors that the worker's tasks require: the
+// whole reservation of a long-running task, and for any other task its remaining
+// work divided by the time within which it should end. The unit is milli-cores,
+// although the type is clock.Millis.
+func (w *worker) requiredMilliCores(now, within clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	for _, r := range w.runs {
 		if r.step.LongRunning {
@@ -345,16 +348,16 @@
 // the arrival rate.
 const arrivalRateWeight = 0.3
 
-// updateArrivalRate adds the work that arrived since the last call to the
-// moving average.
+// updateArrivalRate updates the moving average with the work that has arrived
+// since the last call, which is taken to be one rebalance period ago.
 func (p *pool) updateArrivalRate() {
 	p.arrivalRate += arrivalRateWeight * (float64(p.newWork/rebalancePeriodMillis) - p.arrivalRate)
 	p.newWork = 0
 }
 
-// waitingWork returns the waiting work of a pool that can still meet its
-// deadline. The unit is milli-cores times milliseconds, although the type is
-// clock.Millis.
+// waitingWork returns the amount of waiting work of the pool, without best-effort
+// tasks and without work that can no longer meet its deadline. The unit is
+// milli-cores times milliseconds, although the type is clock.Millis.
 func (p *pool) waitingWork() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
@@ -363,8 +366,8 @@
 		}
 		duration := g.step.Estimate
 		if g.step.LongRunning {
-			// A long-running task never releases its resources, so its duration
-			// is nominal.
+			// A long-running task has no duration; this value only makes its
+			// processors count.
 			duration = clock.Second
 		}
 		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * duration
@@ -372,10 +375,10 @@
 	return sum
 }
 
-// bringMachine moves one machine to a pool: a standby machine or, if there is
-// none, the longest idle machine of a pool that has more than it needs. It
-// reports whether it found one.
-func (s *Scheduler[P, H]) bringMachine(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
+// moveMachineTo orders the move of one machine to a pool: a standby machine or,
+// if there is none, the longest idle machine of a pool that has more machines
+// than it needs. It returns false if there is no such machine.
+func (s *Scheduler[P, H]) moveMachineTo(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
 	for _, m := range slices.Sorted(maps.Keys(s.fleet.standby)) {
 		if s.fleet.notMovableUntil[m] <= now && !s.mayBeDown(m) {
 			delete(s.fleet.standby, m)
@@ -402,9 +405,9 @@
 	return false
 }
 
-// vacateWorkers keeps new tasks off busy workers of pools that have more
-// machines than they need, up to the number of machines that other pools are
-// missing. Otherwise tasks of a second or two would keep each of these workers
+// vacateWorkers keeps new tasks off busy workers of pools that have more machines
+// than they need, up to the number of machines that other pools lack. Otherwise
+// a stream of short tasks, of a second or two, would keep each of these workers
 // slightly busy for as long as its pool has any work, and its machine could not
 // be moved.
 func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
@@ -437,8 +440,8 @@
 	}
 }
 
-// mayBeDown reports whether a machine may be down for a wave. Such a machine is
-// not moved.
+// mayBeDown reports whether a machine may be down, or is about to go down, for
+// its maintenance in a wave. Such a machine must not be moved.
 func (s *Scheduler[P, H]) mayBeDown(m jobs.MachineID) bool {
 	for _, v := range s.waves {
 		if _, isDown := v.down[m]; isDown || v.pending[m] {
@@ -465,13 +468,13 @@
 	w := s.workerByMachine[action.Machine]
 	sameIncarnation := w != nil && w.incarnation == move.incarnation
 	if outcome.Answer != AnswerDone {
-		s.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to %s: %s", action.Machine, action.Pool, outcome))
+		s.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("machine %s to pool %s: %s", action.Machine, action.Pool, outcome))
 	}
 	switch outcome.Answer {
 	case AnswerDone:
-		s.noteFleet(DecisionMachineMoved, string(action.Machine)+" to "+string(action.Pool))
+		s.noteFleet(DecisionMachineMoved, "machine "+string(action.Machine)+" to pool "+string(action.Pool))
 		if sameIncarnation {
-			s.dropWorker(w, "its machine is moved", now)
+			s.dropWorker(w, "the machine of the worker was moved", now)
 		}
 		if action.Pool == s.standbyPool() {
 			delete(s.fleet.moves, action.Machine)
@@ -489,8 +492,9 @@
 	}
 }
 
-// machineArrived ends the move of a machine whose worker has reported from the
-// target pool.
+// machineArrived ends the move of a worker's machine if a new incarnation has
+// sent a heartbeat from the target pool. A machine with a worker is not in
+// standby.
 func (s *Scheduler[P, H]) machineArrived(w *worker) {
 	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation != w.incarnation && move.to == w.pool {
 		delete(s.fleet.moves, w.machine)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -37,7 +37,7 @@
 	// advice.
 	queueAdvice map[jobs.QueueName]jobs.AdvicePolicy
 	advice      adviceState
-	// now is the latest time that a caller has passed.
+	// now is the latest time passed to New, Heartbeat or Pass.
 	now clock.Millis
 	// termStart is when this process became leader.
 	termStart clock.Millis
@@ -46,18 +46,19 @@
 	// scheduled holds the occurrences that are not due yet.
 	scheduled heap.Heap[scheduledOccurrence]
 	// replyDeadlines orders the heartbeats by the time at which they must be
-	// answered. Entries of heartbeats that were answered since, or whose time
-	// was brought forward, are skipped.
+	// answered. An entry is skipped if its heartbeat has been answered or must
+	// now be answered at an earlier time.
 	replyDeadlines heap.Heap[replyDeadline]
-	// leaseEnds orders the workers by the end of their lease. An entry whose
-	// lease was renewed since is pushed again when the old end is reached.
+	// leaseEnds orders the workers by the end of their lease. If the lease has
+	// been renewed when the end in an entry is reached, the entry is replaced by
+	// one with the new end.
 	leaseEnds heap.Heap[leaseEnd]
 	// dirtyPools holds the pools with newly available workers or new waiting
 	// work; the next pass places tasks only in these.
 	dirtyPools map[*pool]bool
-	// nextMaintenance is when the waves are advanced next.
-	nextMaintenance clock.Millis
-	plan            Plan
+	// nextWaveCheck is when the waves are advanced next.
+	nextWaveCheck clock.Millis
+	plan          Plan
 }
 
 // replyDeadline is the time at which a heartbeat must be answered.
@@ -101,18 +102,19 @@
 	// leaseUntil is the end of the longest lease that the worker may have.
 	leaseUntil clock.Millis
 	runs       map[jobs.TaskID]*run
-	// unassigned holds the runs that the worker lists and that are not assigned
-	// to it.
+	// unassigned holds the runs that the worker lists although they are not
+	// assigned to it.
 	unassigned map[jobs.TaskID]unassignedRun
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
-	// cordoned keeps new tasks off a worker whose machine is to be maintained.
-	// goingDown is set once the maintenance or a move is ordered; from then on
-	// the worker's tasks count as unavailable.
+	// cordoned keeps new tasks off a worker whose machine is to be maintained
+	// soon. goingDown is set once the maintenance or a move of the machine is
+	// ordered; from then on the worker's tasks count as unavailable.
 	cordoned  bool
 	goingDown bool
-	// failedJobsInRow counts the consecutive jobs whose tasks failed on this
-	// worker. lastFailedJob is the latest of them.
+	// failedJobsInRow counts the jobs with a failed task on this worker since
+	// the last successful run on it. lastFailedJob is the latest job with a
+	// failed task on it.
 	failedJobsInRow int
 	lastFailedJob   jobs.ID
 	// vacating keeps new tasks off a worker whose machine another pool needs.
@@ -121,11 +123,11 @@
 	// leaseExpired is set from the end of the lease until the next heartbeat.
 	leaseExpired bool
 	speed        speed
-	// idleSince is the time since which the worker has run nothing; 0 if it
-	// runs something.
+	// idleSince is when poolLoads first found that the worker runs nothing; 0 if
+	// it runs something.
 	idleSince clock.Millis
-	// failureScore is the evidence that the worker itself is faulty. The worker
-	// is quarantined until quarantinedUntil.
+	// failureScore measures the evidence that the worker itself is faulty. The
+	// worker is quarantined until quarantinedUntil.
 	failureScore     float64
 	quarantinedUntil clock.Millis
 }
@@ -170,9 +172,10 @@
 	stopReason   string
 }
 
-// New returns the scheduler of a leader whose term starts at now, with the
-// committed state. Assigned tasks may run on their worker until the longest
-// possible lease has ended, even if the worker never sends a heartbeat.
+// New returns the scheduler of a leader whose term starts at now. state is a copy
+// of the committed state. A task that is assigned in it may run on its worker
+// until the longest possible lease has ended, even if the worker never sends a
+// heartbeat.
 func New[P RankPolicy, H place.HealthPolicy](settings Settings, policy P, health H, state *jobs.State, now clock.Millis) *Scheduler[P, H] {
 	s := &Scheduler[P, H]{
 		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
@@ -212,8 +215,8 @@
 	s.queueJob(rec, now)
 }
 
-// maxLease returns the longest duration of a lease on the leader's clock, if
-// the worker's clock is as slow as allowed.
+// maxLease returns the longest duration of a lease on the leader's clock, which
+// is reached when the worker's clock is as slow as allowed.
 func (s *Scheduler[P, H]) maxLease() clock.Millis {
 	return s.settings.LeaseMillis + s.settings.LeaseMillis*s.settings.DriftPermille/1000
 }
@@ -244,11 +247,11 @@
 	s.plan.Ops = append(s.plan.Ops, op)
 }
 
-// PendingOps returns the number of operations since the last plan.
+// PendingOps returns the number of operations that no plan contains yet.
 func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
 
-// readConfig rebuilds poolByQueue and queueAdvice when a new configuration
-// is in force.
+// readConfig rebuilds poolByQueue and queueAdvice if the configuration has
+// changed.
 func (s *Scheduler[P, H]) readConfig() {
 	c := &s.State.Config
 	if s.poolByQueue != nil && c.Version == s.configVersion {
@@ -283,12 +286,12 @@
 	s.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
 	rec := s.State.Jobs[j.ID]
 	s.queueJob(rec, now)
-	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s at version %d, %d steps, on time until %d ms from now",
+	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s, configuration version %d, %d steps, deadline in %d ms",
 		j.Queue, s.State.Config.Version, len(j.Steps), Deadline(rec, 0)-now), false)
 }
 
-// noteJobEnd explains the final status of a job: how long it took, by how much
-// it was late, and how many runs it needed. It also drops the job's advice.
+// noteJobEnd adds a note on the end of a job: how long it took, by how much it
+// was late, and how many runs it needed. It also drops the job's advice.
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
@@ -342,8 +345,7 @@
 	return w, w.runs[id]
 }
 
-// Configure puts a configuration into force if it is newer than the current
-// one.
+// Configure makes a configuration the current one if it has a higher version.
 func (s *Scheduler[P, H]) Configure(c jobs.Config, now clock.Millis) {
 	if c.Version <= s.State.Config.Version {
 		return
@@ -353,8 +355,8 @@
 	s.reassignPools()
 }
 
-// PendingJobs returns the number of accepted jobs of a queue that have started
-// no task, without scheduled jobs.
+// PendingJobs returns the number of accepted jobs of a queue of which no task has
+// been assigned. Scheduled jobs are not counted.
 func (s *Scheduler[P, H]) PendingJobs(q jobs.QueueName) int {
 	n := 0
 	for _, p := range s.pools {
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/place"
 )
 
-// The number of simulations in CI, and the steps of each with and without
-// injected faults.
+// The number of simulations without -short, and the numbers of steps of each one
+// with injected faults and, after that, without.
 const (
 	simulations    = 10_000
 	faultySteps    = 500
@@ -21,9 +21,9 @@
 // TestSimulatedFaults runs seeded random sequences of submissions,
 // resubmissions, run ends, cancellations, lost and late messages, crashes,
 // partitions, drains and changes of leader with a stale leader. It guards
-// against a task that runs twice at the same time, starts after it was done,
-// after its last attempt, before its dependencies or before it is due, and
-// against a job that never ends.
+// against a task that runs twice at the same time, that starts after it was done
+// or has failed too often, or that starts before its dependencies are done or
+// before it is due. It also guards against a job that never ends.
 func TestSimulatedFaults(t *testing.T) {
 	n := simulations
 	if testing.Short() {
@@ -39,7 +39,7 @@
 			sim.step()
 		}
 		if sim.err == nil && !sim.allEnded() {
-			sim.failf("a job has not ended")
+			sim.failf("a job has not ended, or a run of an ended job is still running")
 		}
 		assert.NilError(t, sim.err, "seed %d", seed)
 	}
@@ -62,7 +62,8 @@
 	}
 }
 
-// allEnded reports whether every job has a final status and nothing runs.
+// allEnded reports whether every job has a final status and no worker runs
+// anything.
 func (sim *simulation) allEnded() bool {
 	for _, r := range sim.committed.Jobs {
 		if !r.Status.Final() {
@@ -146,8 +147,8 @@
 	assert.Equal(t, len(again.Ops), 0)
 }
 
-// TestNewIncarnationFreesTasks guards against tasks that wait for the lease of
-// a worker that has restarted.
+// TestNewIncarnationFreesTasks guards against tasks that are not started again
+// until the lease of their worker expires, although the worker has restarted.
 func TestNewIncarnationFreesTasks(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("a", smallStep)
@@ -160,8 +161,8 @@
 	assert.Equal(t, o.Starts[0].Run, 2)
 }
 
-// TestEarlierIncarnationIsRejected guards against assigning work to a crashed
-// worker because of a late heartbeat of its earlier incarnation.
+// TestEarlierIncarnationIsRejected guards against accepting a late heartbeat of a
+// worker process that no longer runs: work would be assigned to it.
 func TestEarlierIncarnationIsRejected(t *testing.T) {
 	f := newFixture(Defaults())
 	f.heartbeat("w1", 2, nil)
@@ -229,8 +230,8 @@
 }
 
 // TestWaveKeepsAvailability guards against a wave that ends two tasks of a
-// long-running step at the same time although only one may be unavailable:
-// orders of one pass must count before the platform has answered.
+// long-running step at the same time although only one may be unavailable. This
+// happens if an order does not count until the platform has answered it.
 func TestWaveKeepsAvailability(t *testing.T) {
 	f := newFixture(Defaults())
 	step := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1}
@@ -265,8 +266,9 @@
 }
 
 // TestNewLeaderRespectsMaxDown guards against more than MaxDown machines being
-// down. An earlier leader had ordered more, because some orders were refused,
-// and its successor repeated all of them at once.
+// down after a change of leader. An earlier leader may have given orders for more
+// machines, because some orders were refused, and its successor must not repeat all
+// of them at once.
 func TestNewLeaderRespectsMaxDown(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
@@ -276,7 +278,7 @@
 		for _, a := range actionsOf(f.Pass(f.now), ActionMaintain) {
 			f.HandleOutcome(a, Outcome{Answer: AnswerRefusedForNow}, f.now)
 		}
-		f.now += maintenancePeriodMillis
+		f.now += waveCheckPeriodMillis
 	}
 	next := &fixture{testScheduler: New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now), now: f.now}
 	assert.Assert(t, len(next.State.Waves[1].Ordered) > 2)
@@ -293,7 +295,7 @@
 			}
 		}
 		assert.Assert(t, n <= 2, "%d machines are down", n)
-		next.now += maintenancePeriodMillis
+		next.now += waveCheckPeriodMillis
 	}
 	assert.Assert(t, next.State.Waves[1].Completed())
 }
@@ -347,8 +349,9 @@
 	assert.Assert(t, f.workers["w1"] != nil)
 }
 
-// TestBacklogBringsStandbyMachines submits more work than the pool's machines
-// can start in time, which requires machines of the standby pool.
+// TestBacklogBringsStandbyMachines guards against work that starts too late although
+// machines are in standby: it submits more work than the machines of the pool can
+// start in time.
 func TestBacklogBringsStandbyMachines(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
@@ -385,12 +388,12 @@
 	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMove)), 2)
 }
 
-// TestIdleMachinesMoveToStandby guards against paying for idle machines beyond
+// TestIdleMachinesMoveToStandby guards against paying for more idle machines than
 // the reserve.
 func TestIdleMachinesMoveToStandby(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
-	f.fleet.listedAt, f.fleet.listRequestedAt, f.fleet.hadFiniteWork = f.now, f.now, true
+	f.fleet.listedAt, f.fleet.listRequestedAt, f.fleet.finiteWorkSeen = f.now, f.now, true
 	ids := []string{"w1", "w2", "w3", "w4"}
 	for range 4 {
 		for _, id := range ids {
@@ -412,7 +415,7 @@
 func TestUnansweredMoveReleasesWorker(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
-	f.fleet.listedAt, f.fleet.listRequestedAt, f.fleet.hadFiniteWork = f.now, f.now, true
+	f.fleet.listedAt, f.fleet.listRequestedAt, f.fleet.finiteWorkSeen = f.now, f.now, true
 	for range 12 {
 		for _, id := range []string{"w1", "w2", "w3"} {
 			f.heartbeat(id, 1, nil)
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -10,10 +10,10 @@
 	"camphorridge/core/state/place"
 )
 
-// Parameters of the simulated fleet. A worker waits for a reply for
-// replyTimeoutMillis, and a task of a gang for the others for
-// gangTimeoutMillis. A leader sends replies for maxConfirmAgeMillis after it last
-// knew that it leads.
+// Parameters of the simulated fleet. replyTimeoutMillis is how long a worker waits
+// for a reply, and gangTimeoutMillis how long a task of a gang waits for the
+// others. maxConfirmAgeMillis is how long a leader sends replies after it last
+// confirmed its leadership.
 const (
 	stepMillis          clock.Millis = 20
 	replyTimeoutMillis               = clock.Second
@@ -24,13 +24,13 @@
 
 type testScheduler = Scheduler[EarliestDeadline, place.PeerComparison]
 
-// simLeader is a process that leads or believes that it does. Its scheduler is
-// ahead of the committed state until its operations are committed.
+// simLeader is a process that is the leader or believes that it is. Its scheduler
+// is ahead of the committed state until its operations are committed.
 type simLeader struct {
 	scheduler *testScheduler
 	// token is the fencing token of the leader; it increases with each election.
 	token uint64
-	// confirmedAt is when the process last knew that it leads.
+	// confirmedAt is when the process last confirmed its leadership.
 	confirmedAt clock.Millis
 }
 
@@ -77,7 +77,8 @@
 type simReply struct {
 	to     *simWorker
 	orders Orders
-	// lease is the duration of the granted lease, from sentAt on.
+	// lease is the duration of the granted lease. It starts at sentAt, when the
+	// worker sent the heartbeat.
 	lease     clock.Millis
 	token     uint64
 	sentAt    clock.Millis
@@ -98,13 +99,13 @@
 	now       clock.Millis
 	committed *jobs.State
 	leader    *simLeader
-	// stale is an earlier leader that has not noticed yet that it no longer
-	// leads.
+	// stale is the previous leader while it does not know yet that it has been
+	// replaced; nil for none.
 	stale   *simLeader
 	token   uint64
 	workers []*simWorker
 	replies []simReply
-	// done holds the tasks that were recorded as done.
+	// done holds the tasks that were recorded as done in a committed operation.
 	done map[jobs.TaskID]bool
 	// failures counts the failed runs of each task.
 	failures map[jobs.TaskID]int
@@ -144,8 +145,8 @@
 	}
 }
 
-// elect makes a new leader. The previous one may continue for a while without
-// being able to commit.
+// elect replaces the leader. The previous one continues for a while but cannot
+// commit.
 func (sim *simulation) elect() {
 	sim.token++
 	sim.stale = sim.leader
@@ -234,9 +235,9 @@
 	}
 }
 
-// runPass runs a pass of a leader. Only the true leader commits. A stale one
-// still sends replies that need no commit while its last confirmation is
-// recent.
+// runPass runs a pass of a leader. Only the current leader commits. A stale one
+// still sends the replies of a plan without operations, until maxConfirmAgeMillis
+// after its last confirmation.
 func (sim *simulation) runPass(l *simLeader, leads bool) {
 	p := l.scheduler.Pass(sim.now)
 	if leads {
@@ -380,8 +381,9 @@
 	}
 }
 
-// updateGangs starts the work of gangs whose tasks are all running. A gang that
-// has lost a task, or has waited too long for the others, is stopped.
+// updateGangs starts the work of gangs whose tasks are all running. It stops the
+// running tasks of a gang that has lost a task or whose other tasks do not start
+// within gangTimeoutMillis.
 func (sim *simulation) updateGangs() {
 	present := map[runKey]int{}
 	for _, w := range sim.workers {
@@ -409,7 +411,7 @@
 	return runKey{t, r.run}
 }
 
-// checkStart checks the invariants of a task start.
+// checkStart checks that a task may start.
 func (sim *simulation) checkStart(w *simWorker, s Start) {
 	rec := sim.committed.Jobs[s.Task.Job]
 	switch {
@@ -497,7 +499,7 @@
 		w.heartbeatLeader = l
 	}
 	if !sim.faultsOff && sim.rand.IntN(50) == 0 {
-		// A heartbeat may arrive twice or late.
+		// The network may deliver a heartbeat twice.
 		l.scheduler.Heartbeat(h, sim.now)
 	}
 }
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -14,10 +14,10 @@
 	"camphorridge/core/state/place"
 )
 
-// The simulated load for comparing rank policies: for some seconds it is twice
-// what the pool can process, and low before and after. Jobs arrive for
-// loadMillis; loadDrainMillis is the time after that in which the rest of them
-// can end. The simulation proceeds in steps of loadStepMillis.
+// Parameters of the simulated load for comparing rank policies. During the surge
+// the load is twice what the pool can process; before and after it is low. Jobs
+// arrive for loadMillis, and those that are left then can end within
+// loadDrainMillis. The simulation proceeds in steps of loadStepMillis.
 const (
 	loadWorkers                          = 9
 	loadMilliCoresPerWorker              = 16_000
@@ -25,12 +25,12 @@
 	loadMillis                           = 20 * clock.Second
 	surgeStartMillis                     = 5 * clock.Second
 	surgeEndMillis                       = 11 * clock.Second
-	calmJobsPerSecond                    = 4
+	baseJobsPerSecond                    = 4
 	surgeJobsPerSecond                   = 95
 	loadDrainMillis                      = 60 * clock.Second
 )
 
-// simJob is a job of the load, with the actual duration of its tasks.
+// simJob is a job of the load, with the actual duration of each of its tasks.
 type simJob struct {
 	job       jobs.Job
 	arrivesAt clock.Millis
@@ -42,7 +42,7 @@
 	r := rand.New(rand.NewPCG(seed, 2))
 	var all []simJob
 	for at := clock.Millis(0); at < loadMillis; at += loadStepMillis {
-		rate := calmJobsPerSecond
+		rate := baseJobsPerSecond
 		if at >= surgeStartMillis && at < surgeEndMillis {
 			rate = surgeJobsPerSecond
 		}
@@ -75,9 +75,9 @@
 }
 
 // upperBound returns an upper bound on the number of jobs that any schedule can
-// complete on time. The jobs that arrive and are due within a time window share
-// its processor time, so at most as many of them can complete as fit when the
-// smallest go first.
+// complete on time. For each of several time windows, the jobs that arrive in it
+// and whose deadline is in it must share its processor time. At most as many of
+// them can complete on time as fit into it when the smallest are chosen first.
 func upperBound(all []simJob) int {
 	const cores = loadWorkers * loadMilliCoresPerWorker / 1000
 	bound := len(all)
@@ -103,7 +103,7 @@
 	return bound
 }
 
-// loadWorker is a simulated worker without faults.
+// loadWorker is a simulated worker that never fails.
 type loadWorker struct {
 	id            jobs.WorkerID
 	seq           int64
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -7,22 +7,22 @@
 // Parameters of the throttling of best-effort tasks.
 const (
 	// speedPeriodMillis is the minimum time between two changes of the speed.
-	// The tail latency in a heartbeat covers the last half second.
+	// It is the period that the tail latency in a heartbeat covers.
 	speedPeriodMillis clock.Millis = 500
-	// Best-effort tasks are slowed down while the tail latency of a serving
-	// task exceeds slowTailPermille of its target, and sped up while all are
-	// below fastTailPermille.
+	// Best-effort tasks are slowed down while the tail latency of any serving
+	// task exceeds slowTailPermille of its target, and sped up while the tail
+	// latencies of all serving tasks are below fastTailPermille of theirs.
 	slowTailPermille = 950
 	fastTailPermille = 750
-	// Slowing down divides the speed by speedDivisor, speeding up adds
-	// speedStepPercent. A speed below minSpeedPercent becomes 0; three
-	// slowdowns from full speed stop a task.
+	// Slowing down divides the speed by speedDivisor, and speeding up adds
+	// speedStepPercent. A speed that would fall below minSpeedPercent becomes 0,
+	// which takes three slowdowns from full speed.
 	speedDivisor     = 3
 	speedStepPercent = 10
 	minSpeedPercent  = 10
 	fullSpeedPercent = 100
-	// fullSpeedRepeats is the number of replies that carry a return to full
-	// speed, because replies may be lost. A lower speed is part of every reply.
+	// fullSpeedRepeats is the number of replies that order a return to full
+	// speed; one could be lost. A lower speed is part of every reply.
 	fullSpeedRepeats = 3
 )
 
@@ -32,18 +32,19 @@
 	percent int
 	// changedAt is the time of the latest change.
 	changedAt clock.Millis
-	// repeatsLeft is the number of replies that still have to carry full speed.
+	// repeatsLeft is the number of further replies that order full speed.
 	repeatsLeft int
 }
 
-// unknownSpeed returns the speed for a worker that received orders from an
-// earlier leader, which may have throttled it: full speed, repeated in the next
-// replies.
+// unknownSpeed returns the initial speed for a worker that received orders from
+// an earlier leader: full speed, ordered in the next replies because that leader
+// may have throttled the worker.
 func unknownSpeed() speed { return speed{percent: fullSpeedPercent, repeatsLeft: fullSpeedRepeats} }
 
 // adjustSpeed slows down the best-effort tasks on a worker while a serving task
-// there exceeds its latency target, and speeds them up step by step once it
-// does not. This follows loads of serving tasks that change within seconds.
+// there is close to or above its latency target, and speeds them up step by step
+// once all are well below. The adjustment is fast enough for loads of serving
+// tasks that change within seconds.
 func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
 	worstPermille, bestEffortTasks := w.tailLatency()
 	if bestEffortTasks == 0 {
@@ -82,12 +83,12 @@
 	return percent
 }
 
-// throttleable reports whether the run is a best-effort task that the worker
-// runs and that is not being stopped.
+// throttleable reports whether the run is one of a best-effort task that the
+// worker lists and that is not being stopped.
 func (r *run) throttleable() bool { return r.step.BestEffort && r.listed && !r.stopping }
 
 // tailLatency returns the worst tail latency of the serving tasks on the
-// worker, in permille of the target, and the number of best-effort tasks that
+// worker, in permille of the target, and the number of best-effort tasks on it that
 // can be throttled.
 func (w *worker) tailLatency() (worstPermille, bestEffortTasks int) {
 	for _, r := range w.runs {
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -9,8 +9,8 @@
 	"camphorridge/core/state/jobs"
 )
 
-// maxOverTargetMillis is how long best-effort tasks may keep a tail latency
-// above its target.
+// maxOverTargetMillis limits how long best-effort tasks may keep a tail latency
+// above its target without interruption.
 const maxOverTargetMillis = 4 * clock.Second
 
 // latencyTarget is the target of the serving task's tail latency in the tests.
@@ -78,11 +78,11 @@
 	// The best-effort task can run at full speed while the load is low and at a
 	// fifth of it while the load is high; returning to full speed takes five
 	// seconds.
-	assert.Assert(t, workMillis > 26*clock.Second, "the best-effort task worked for %d ms at full speed", workMillis)
+	assert.Assert(t, workMillis > 26*clock.Second, "the work of the best-effort task amounts to %d ms at full speed", workMillis)
 }
 
-// TestServingAloneIsNotThrottled guards against useless orders when a tail
-// latency exceeds its target without a best-effort task next to it.
+// TestServingAloneIsNotThrottled guards against useless throttle orders when a tail
+// latency exceeds its target although no best-effort task runs on the worker.
 func TestServingAloneIsNotThrottled(t *testing.T) {
 	f, running := newThrottleFixture(t)
 	for i := range running {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -11,8 +11,8 @@
 	// sent a heartbeat.
 	LeaseMillis clock.Millis
 	// DriftPermille is the maximum by which a worker's clock may run slow, in
-	// permille. It is a ratio and not a time: it has the type clock.Millis only
-	// because LeaseMillis is multiplied by it.
+	// permille. It has the type clock.Millis only because LeaseMillis is
+	// multiplied by it.
 	DriftPermille clock.Millis
 	// MaxHoldMillis limits the delay of the reply to a heartbeat. A worker
 	// drops a reply that arrives more than a second after its heartbeat.
@@ -21,29 +21,29 @@
 	// before its next heartbeat.
 	MinRetryMillis clock.Millis
 	MaxRetryMillis clock.Millis
-	// TakeoverDelayMillis is how long a new leader orders no maintenance and no
-	// moves, so that two leaders do not alternate in giving orders for a
-	// machine.
+	// TakeoverDelayMillis is how long a new leader waits before it orders
+	// maintenance or moves, so that it and the previous leader do not order them
+	// for the same machine in turn.
 	TakeoverDelayMillis clock.Millis
 	// MaintenanceMillis is how long the maintenance of a machine takes.
 	MaintenanceMillis clock.Millis
 	// BacklogTargetMillis is the time within which the waiting work of a pool
-	// should start. Machines are moved to a pool that would need longer. 0
-	// disables moves.
+	// should start. Machines are moved to a pool that would need longer; 0
+	// disables all moves.
 	BacklogTargetMillis clock.Millis
 	// MoveMillis is how long the move of a machine takes.
 	MoveMillis clock.Millis
-	// IdleMillis is how long a machine must be idle before it is moved to the
-	// standby pool.
+	// IdleMillis is how long the worker of a machine must run nothing before the
+	// machine is moved to the standby pool.
 	IdleMillis clock.Millis
-	// ReserveMachines is the number of machines beyond its need that a pool
-	// keeps.
+	// ReserveMachines is the number of machines that a pool keeps in addition to
+	// those that it needs.
 	ReserveMachines int
-	// QuarantineMillis is how long a worker whose tasks fail gets no new ones
-	// before it is tried again.
+	// QuarantineMillis is how long a worker on which tasks fail or stall gets no
+	// new tasks.
 	QuarantineMillis clock.Millis
-	// StallMillis is how long a task may make no progress, in addition to a
-	// quarter of its estimate, before it is started elsewhere.
+	// StallMillis plus a quarter of its estimate is how long a task may make no
+	// progress before it is stopped and started elsewhere.
 	StallMillis clock.Millis
 }
 
@@ -91,14 +91,15 @@
 	Labels      []string
 	// Seq increases with each heartbeat of an incarnation.
 	Seq int64
-	// Capacity is all that the worker has for tasks, free or not.
+	// Capacity is the total amount for tasks, whether free or in use.
 	Capacity jobs.Resources
-	// Draining workers get no new tasks. Remaining is the minimum time until
-	// the worker exits.
+	// Draining is set for a worker that is about to exit; it gets no new tasks.
+	// Remaining is the minimum time until it exits.
 	Draining  bool
 	Remaining clock.Millis
-	// Running and Ends are complete, except that a worker limits the number of
-	// ends; the rest follows once earlier ones are acknowledged.
+	// Running lists all runs on the worker. Ends lists the run ends that are not
+	// acknowledged; a worker limits their number and reports the rest once these
+	// are acknowledged.
 	Running []RunStatus
 	Ends    []RunEnd
 	// ReceivedAt is the leader's monotonic time of receipt.
@@ -133,14 +134,14 @@
 type Orders struct {
 	Worker      jobs.WorkerID
 	Incarnation jobs.Incarnation
-	// AckUpTo is the number of the last run end that has been processed.
+	// AckUpTo is the highest number of the processed run ends.
 	AckUpTo   int64
 	Starts    []Start
 	Stops     []Stop
 	Throttles []Throttle
 	// RetryAfter is the pause until the next heartbeat.
 	RetryAfter clock.Millis
-	// LeaseGranted is false for a worker that must not run anything any longer.
+	// LeaseGranted is false if the worker must not run anything any more.
 	LeaseGranted bool
 }
 
@@ -159,15 +160,16 @@
 	ActionAdvise
 )
 
-// Action is a request to the platform, which manages the machines and provides
-// the advice service.
+// Action is a request to the platform, which manages the machines, or to its
+// advice service. Only the fields that Kind uses are set.
 type Action struct {
 	Kind    ActionKind
 	Machine jobs.MachineID
 	Wave    int
 	Pool    jobs.PoolName
-	// Step is the first task of the step for which Workers are named.
-	// ExpectedDuration is the expected response time.
+	// Step identifies, by its first task, the step that ActionAdvise is about.
+	// Workers are the workers to judge, and ExpectedDuration is the expected
+	// response time.
 	Step             jobs.TaskID
 	Workers          []jobs.WorkerID
 	ExpectedDuration clock.Millis
@@ -182,7 +184,7 @@
 	Capacity jobs.Resources
 }
 
-// Outcome is the platform's answer to an action.
+// Outcome is the platform's answer to an action, with the requested data.
 type Outcome struct {
 	Answer Answer
 	// Reason says why Answer is not AnswerDone; empty if no reason was given.
@@ -201,7 +203,7 @@
 	return o.Answer.String() + ": " + o.Reason
 }
 
-// Plan is the result of a pass.
+// Plan is the result of Scheduler.Pass.
 type Plan struct {
 	// Ops must be committed before any other part of the plan takes effect.
 	Ops     []jobs.Op
@@ -209,6 +211,7 @@
 	Actions []Action
 	// Notes explain the decisions of the pass.
 	Notes []Note
-	// NextPass is when the next pass is due if nothing happens before.
+	// NextPass is when the next pass is due, unless an event requires an earlier
+	// one.
 	NextPass clock.Millis
 }
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -10,16 +10,16 @@
 	"camphorridge/core/state/jobs"
 )
 
-// orderRetryMillis is the pause before a maintenance order is repeated after it
+// maintenanceRetryMillis is the pause before a maintenance order is repeated after it
 // was refused for now or its answer was lost.
-const orderRetryMillis clock.Millis = 400
+const maintenanceRetryMillis clock.Millis = 400
 
-// refusalsBeforeList is the number of refusals of a machine after which the
-// list of machines is requested again.
-const refusalsBeforeList = 8
+// refusalsBeforeRelisting is the number of refused orders for a machine after
+// which the list of machines is requested again.
+const refusalsBeforeRelisting = 8
 
-// maintenancePeriodMillis is the interval between two checks of the waves.
-const maintenancePeriodMillis clock.Millis = 50
+// waveCheckPeriodMillis is the interval between two checks of the waves.
+const waveCheckPeriodMillis clock.Millis = 50
 
 // wave is the progress of a declared wave in this term.
 type wave struct {
@@ -27,22 +27,23 @@
 	// down holds the machines whose maintenance was ordered and that are not
 	// known to be back.
 	down map[jobs.MachineID]downtime
-	// nextOrder holds the earliest time of the next order for a machine.
+	// nextOrder holds the earliest time at which the order for a machine may be
+	// repeated.
 	nextOrder map[jobs.MachineID]clock.Millis
 	// pending holds the machines whose order has no answer yet.
 	pending map[jobs.MachineID]bool
-	// refusals counts the refusals of a machine since the last list of
+	// refusals counts the refused orders for a machine since the last list of
 	// machines.
 	refusals map[jobs.MachineID]int
-	// repeated holds the machines whose maintenance was ordered more than once:
-	// a positive answer may then refer to the first order.
+	// repeated holds the machines whose maintenance was ordered more than once.
+	// The answer to the last order may then be the result of an earlier one.
 	repeated map[jobs.MachineID]bool
 }
 
 // downtime is the expected downtime of a machine.
 type downtime struct {
-	// incarnation is that of the machine's worker at the order; 0 for none or
-	// unknown.
+	// incarnation is that of the machine's worker when the maintenance was
+	// ordered; 0 for none or unknown.
 	incarnation jobs.Incarnation
 	// since is when the maintenance was ordered or, later, when the order was
 	// confirmed or its answer was lost; 0 for an order of an earlier term.
@@ -61,7 +62,7 @@
 	return v
 }
 
-// DeclareWave accepts a wave, whose Deadline is relative to now. It has no
+// DeclareWave accepts a wave. Its Deadline is relative to now. The call has no
 // effect if the wave number is known.
 func (s *Scheduler[P, H]) DeclareWave(w jobs.Wave, now clock.Millis) {
 	if s.State.Waves[w.Number] != nil {
@@ -74,13 +75,13 @@
 	s.waves[w.Number] = newWave(s.State.Waves[w.Number])
 }
 
-// advanceWaves orders the maintenance of machines of the waves, at most MaxDown
-// of a wave at a time, and keeps new tasks off the machines that come next.
+// advanceWaves ends the downtimes that are over and advances the waves that are
+// not completed.
 func (s *Scheduler[P, H]) advanceWaves(now clock.Millis) {
-	if now < s.nextMaintenance {
+	if now < s.nextWaveCheck {
 		return
 	}
-	s.nextMaintenance = now + maintenancePeriodMillis
+	s.nextWaveCheck = now + waveCheckPeriodMillis
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
 		s.clearReturned(v, now)
@@ -91,10 +92,9 @@
 	}
 }
 
-// clearReturned ends the downtime of machines whose worker has a new
-// incarnation. A machine without a known worker, such as one that is powered
-// off, has none that could return, so a downtime also ends after the time that
-// a maintenance can take.
+// clearReturned ends the downtime of machines whose worker has a new incarnation.
+// A downtime also ends after the longest time that a maintenance can take, because
+// no worker returns on some machines, such as those that are powered off.
 func (s *Scheduler[P, H]) clearReturned(v *wave, now clock.Millis) {
 	for m, down := range v.down {
 		if v.pending[m] {
@@ -113,9 +113,9 @@
 	}
 }
 
-// clearGoingDown allows new tasks on a worker whose machine should have been
-// maintained or moved, if the same incarnation still runs after the time that
-// this takes: the order was not carried out. w may be nil.
+// clearGoingDown is called when the time for the maintenance or move of a machine
+// is over. If its worker is still the given incarnation, the order was not carried
+// out, and the worker may get new tasks again. w may be nil.
 func (s *Scheduler[P, H]) clearGoingDown(w *worker, incarnation jobs.Incarnation) {
 	if w != nil && w.incarnation == incarnation && w.goingDown {
 		w.goingDown = false
@@ -123,10 +123,10 @@
 	}
 }
 
-// advanceWave gives the orders that MaxDown allows. It takes down no more
-// machines at a time than the deadline requires, and prefers those of pools
-// without waiting work, so that a wave takes little capacity while a pool needs
-// it.
+// advanceWave orders the maintenance of machines of a wave and keeps new tasks off
+// the machines that come next. At most MaxDown machines are down at a time, and no
+// more than the deadline requires. Machines of pools without waiting work come
+// first, so that the wave takes little capacity from pools that need it.
 func (s *Scheduler[P, H]) advanceWave(v *wave, now clock.Millis) {
 	var remaining []jobs.MachineID
 	for _, m := range v.Machines {
@@ -145,8 +145,9 @@
 		switch {
 		case v.nextOrder[m] > now:
 		case isDown && len(v.down) > v.MaxDown:
-			// An earlier leader ordered more than MaxDown, because some orders were
-			// refused. Which machines are down is unknown until all must be back.
+			// An earlier leader gave orders for more than MaxDown machines, because
+			// some orders were refused. It is unknown which of the machines are
+			// down, so no order is repeated before enough downtimes have ended.
 		case isDown:
 			// The answer to an earlier order was lost.
 			s.orderMaintenance(v, m, w, now)
@@ -167,8 +168,9 @@
 // completed.
 const deadlineMarginMillis = 3 * clock.Second
 
-// requiredParallelism returns the number of machines that must be down at a
-// time to complete the wave in time, at most MaxDown.
+// requiredParallelism returns the number of machines that must be down at a time
+// to complete the wave deadlineMarginMillis before its deadline, from 1 to
+// MaxDown.
 func (s *Scheduler[P, H]) requiredParallelism(v *wave, now clock.Millis) int {
 	remaining := clock.Millis(len(v.Machines) - len(v.Started))
 	perMachine := s.settings.MaintenanceMillis + s.settings.MaxHoldMillis
@@ -176,9 +178,9 @@
 	return int(min(max((remaining*perMachine+timeLeft-1)/timeLeft, 1), clock.Millis(v.MaxDown)))
 }
 
-// disruptionCost orders the machines for maintenance, lowest first: machines
-// without a worker, then those of pools without waiting work and with few finite
-// tasks.
+// disruptionCost ranks the machines for maintenance, the lowest cost first. The
+// cost is lowest for a machine without a worker. It grows with the number of
+// finite tasks on the machine, and by more if tasks of its pool are waiting.
 func (s *Scheduler[P, H]) disruptionCost(m jobs.MachineID) int {
 	w := s.workerByMachine[m]
 	if w == nil {
@@ -194,7 +196,8 @@
 		cost += 1000
 	}
 	if w.cordoned {
-		// A cordoned machine has already given up its capacity.
+		// A cordoned machine gets no new tasks anyway, so its maintenance takes
+		// less capacity.
 		cost -= 100
 	}
 	return max(cost, 0)
@@ -205,9 +208,10 @@
 	return slices.ContainsFunc(p.groups, func(g *taskGroup) bool { return len(g.waiting) > 0 && !g.rec.Status.Final() })
 }
 
-// mayGoDown reports whether a machine may go down now: all tasks except
-// long-running ones have ended or the wave is behind schedule, and no step
-// exceeds its MaxUnavailable.
+// mayGoDown reports whether the machine of a worker may go down now. It may if all
+// tasks except long-running ones have ended or the wave is behind schedule, and if
+// no step would exceed its MaxUnavailable. If a step would exceed it only because
+// several of its tasks are on the machine, mayGoDown stops one of them.
 func (s *Scheduler[P, H]) mayGoDown(v *wave, w *worker, now clock.Millis) bool {
 	if w == nil {
 		return true
@@ -237,20 +241,20 @@
 			continue
 		}
 		if unavailable == 0 && n > 1 {
-			s.stopOneOf(w, k, n)
+			s.stopOneTask(w, k, n)
 		}
 		return false
 	}
 	return true
 }
 
-// stopOneOf stops one of several tasks of a long-running step on a worker that
-// together exceed MaxUnavailable, so that it starts on another worker first.
-func (s *Scheduler[P, H]) stopOneOf(w *worker, k stepKey, n int) {
+// stopOneTask stops one of the n tasks of a long-running step on a worker, so that
+// it starts on another worker before the machine goes down.
+func (s *Scheduler[P, H]) stopOneTask(w *worker, k stepKey, n int) {
 	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
 		if stepKeyOf(id) == k && r.listed && !r.stopping {
-			s.stopRun(w, r, fmt.Sprintf("%d tasks of its step are on a machine to be maintained, no other is unavailable", n))
+			s.stopRun(w, r, fmt.Sprintf("%d tasks of its step are on a machine to be maintained, too many to end at the same time", n))
 			return
 		}
 	}
@@ -277,8 +281,9 @@
 	return n
 }
 
-// behindSchedule reports whether the rest of a wave does not fit into the time
-// left unless running tasks are ended.
+// behindSchedule reports whether the remaining maintenance of a wave, of MaxDown
+// machines at a time, takes longer than the time left until the deadline. The wave
+// then no longer waits for running tasks to end.
 func (s *Scheduler[P, H]) behindSchedule(v *wave, now clock.Millis) bool {
 	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
 	return now+clock.Millis(rounds)*(s.settings.MaintenanceMillis+s.settings.MaxHoldMillis) > v.Deadline
@@ -305,21 +310,20 @@
 	v.down[m] = down
 	s.noteMaintenanceOrder(v, m, w)
 	v.pending[m] = true
-	v.nextOrder[m] = now + orderRetryMillis
+	v.nextOrder[m] = now + maintenanceRetryMillis
 	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
 }
 
-// noteMaintenanceOrder explains an order: which long-running tasks with
-// MaxUnavailable it ends, and how many tasks of their step are unavailable
-// then.
+// noteMaintenanceOrder adds a note on an order: which tasks with MaxUnavailable it
+// ends, and how many tasks of their step are unavailable then.
 func (s *Scheduler[P, H]) noteMaintenanceOrder(v *wave, m jobs.MachineID, w *worker) {
-	reason := fmt.Sprintf("machine %s for wave %d, %d of its machines are down or ordered to go down", m, v.Number, len(v.down))
+	reason := fmt.Sprintf("machine %s for wave %d, %d machines of the wave are down or ordered to go down", m, v.Number, len(v.down))
 	if w != nil {
 		for _, t := range sortedTaskIDs(w.runs) {
 			r := w.runs[t]
 			if r.step.MaxUnavailable > 0 {
 				unavailable := s.unavailable(r.rec, stepKeyOf(t))
-				reason += fmt.Sprintf("; ends %s step %d index %d, %d of at most %d unavailable with it", t.Job, t.Step, t.Index, unavailable, r.step.MaxUnavailable)
+				reason += fmt.Sprintf("; ends job %s step %d index %d, tasks of the step unavailable then: %d of at most %d", t.Job, t.Step, t.Index, unavailable, r.step.MaxUnavailable)
 			}
 		}
 	}
@@ -331,16 +335,18 @@
 
 // The answers of the platform.
 const (
-	// AnswerDone means that the action is carried out: for a maintenance order,
-	// that the machine goes down or its maintenance had started before.
+	// AnswerDone means that the action was or is being carried out. For a
+	// maintenance order, the machine goes down, or its maintenance had already
+	// started.
 	AnswerDone Answer = iota
-	// AnswerRefusedForNow means that nothing was done, and the order may be
+	// AnswerRefusedForNow means that nothing was done, and the request may be
 	// repeated.
 	AnswerRefusedForNow
-	// AnswerRefusedForGood means that the machine does not exist or is not part
-	// of the wave.
+	// AnswerRefusedForGood means that nothing was done, and the same request
+	// would be refused again. For a maintenance order, the machine does not exist
+	// or is not part of the wave.
 	AnswerRefusedForGood
-	// AnswerUnknown means that there was no answer; the order may have been
+	// AnswerUnknown means that there was no answer; the action may have been
 	// carried out.
 	AnswerUnknown
 )
@@ -382,7 +388,7 @@
 		s.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: action.Wave, Machine: action.Machine}, now)
 		v.down[action.Machine] = downtime{incarnation: v.down[action.Machine].incarnation, since: now}
 		if w := s.workerByMachine[action.Machine]; w != nil && w.incarnation == v.down[action.Machine].incarnation && !v.repeated[action.Machine] {
-			s.dropWorker(w, "its machine is maintained", now)
+			s.dropWorker(w, "the maintenance of the worker's machine started", now)
 		}
 	case AnswerRefusedForGood:
 		s.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: action.Wave, Machine: action.Machine}, now)
@@ -391,11 +397,12 @@
 			w.cordoned, w.goingDown = false, false
 		}
 	case AnswerRefusedForNow:
-		if v.refusals[action.Machine]++; v.refusals[action.Machine] == refusalsBeforeList {
-			// The machine may no longer exist; a new list of machines shows it.
+		if v.refusals[action.Machine]++; v.refusals[action.Machine] == refusalsBeforeRelisting {
+			// The machine may no longer exist; a new list of machines shows
+			// whether it does.
 			s.fleet.listRequestedAt = 0
 		}
-		// A repeated order may be refused because the first one was carried
+		// A repeated order may be refused because an earlier one was carried
 		// out.
 		if !v.repeated[action.Machine] {
 			delete(v.down, action.Machine)
@@ -403,15 +410,16 @@
 		if w := s.workerByMachine[action.Machine]; w != nil {
 			w.goingDown = false
 		}
-		v.nextOrder[action.Machine] = now + orderRetryMillis
+		v.nextOrder[action.Machine] = now + maintenanceRetryMillis
 	case AnswerUnknown:
 		v.down[action.Machine] = downtime{incarnation: v.down[action.Machine].incarnation, since: now}
-		v.nextOrder[action.Machine] = now + orderRetryMillis
+		v.nextOrder[action.Machine] = now + maintenanceRetryMillis
 	}
 }
 
-// dropMissingMachines marks the maintenance of machines that no longer exist as
-// started, so that their waves do not wait for them.
+// dropMissingMachines records the maintenance of machines that no longer exist as
+// started, so that their waves do not wait for them. listed holds the machines
+// that exist.
 func (s *Scheduler[P, H]) dropMissingMachines(listed map[jobs.MachineID]bool, now clock.Millis) {
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
@@ -422,17 +430,17 @@
 			}
 			s.apply(jobs.Op{Kind: jobs.OpMaintenanceStarted, WaveNumber: v.Number, Machine: m}, now)
 			delete(v.down, m)
-			s.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d does not exist any more", m, v.Number))
+			s.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d no longer exists", m, v.Number))
 		}
 	}
 }
 
-// nextMaintenanceCheck returns when the waves must be checked next; false if
-// all waves are completed.
-func (s *Scheduler[P, H]) nextMaintenanceCheck(now clock.Millis) (clock.Millis, bool) {
+// nextWaveCheckDue returns when the waves must be checked next; false if all
+// waves are completed.
+func (s *Scheduler[P, H]) nextWaveCheckDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range s.waves {
 		if !v.Completed() {
-			return max(s.nextMaintenance, s.termStart+s.settings.TakeoverDelayMillis), true
+			return max(s.nextWaveCheck, s.termStart+s.settings.TakeoverDelayMillis), true
 		}
 	}
 	return 0, false
