--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -22,8 +22,8 @@
 	// decreases.
 	Seq   uint64
 	Waves map[int]*Wave
-	// EndedJobs lists the jobs in Jobs that have a final status, in the order in
-	// which they ended.
+	// EndedJobs lists the jobs in Jobs that have a final status, in the order
+	// in which they ended.
 	EndedJobs []ID
 }
 
@@ -34,8 +34,8 @@
 
 // Apply applies a batch of operations made at time now. An operation that does
 // not match the state has no effect, for example the submission of a known ID,
-// the end of a run that is not the task's latest, or a configuration that is not
-// newer than the current one.
+// the end of a run that is not the task's latest, or a configuration that is
+// not newer than the current one.
 func (s *State) Apply(ops []Op, now clock.Millis) {
 	s.Time = max(s.Time, now)
 	for i := range ops {
@@ -113,8 +113,8 @@
 	}
 }
 
-// newOccurrence returns an occurrence of which no task has run. The tasks of all
-// its steps share one allocation.
+// newOccurrence returns an occurrence of which no task has run. The tasks of
+// all its steps share one allocation.
 func newOccurrence(steps []Step) Occurrence {
 	total := 0
 	for i := range steps {
@@ -209,9 +209,9 @@
 	return n
 }
 
-// gangFailures returns the number of failed runs of a gang, which is the highest
-// count of its tasks: assign sets the count of each started task to that of the
-// gang.
+// gangFailures returns the number of failed runs of a gang, which is the
+// highest count of its tasks: assign sets the count of each started task to
+// that of the gang.
 func (st *StepState) gangFailures() int {
 	n := 0
 	for i := range st.Tasks {
@@ -220,9 +220,9 @@
 	return n
 }
 
-// setGangCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint that
-// one task reports is valid for the whole gang, and all tasks must resume from
-// the same checkpoint.
+// setGangCheckpoint sets the checkpoint of all tasks of a gang. A checkpoint
+// that one task reports is valid for the whole gang, and all tasks must resume
+// from the same checkpoint.
 func (st *StepState) setGangCheckpoint(checkpoint string) {
 	for i := range st.Tasks {
 		st.Tasks[i].Checkpoint = checkpoint
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -81,8 +81,8 @@
 }
 
 // TestCloneIsIndependent guards against a clone that shares modified data with
-// its original: operations that the leader has applied only to its own copy would
-// change the committed state.
+// its original: operations that the leader has applied only to its own copy
+// would change the committed state.
 func TestCloneIsIndependent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -75,8 +75,8 @@
 // Queue is the configuration of one queue.
 type Queue struct {
 	Name QueueName
-	// Host and Prefix select the queue of a request by its host and the start of
-	// its path.
+	// Host and Prefix select the queue of a request by its host and the start
+	// of its path.
 	Host   string
 	Prefix string
 	Pool   PoolName
@@ -162,8 +162,8 @@
 	// LatencyTarget is the limit on the tail latency of a serving task; 0 for
 	// none.
 	LatencyTarget clock.Millis
-	// BestEffort tasks use the processor time that other tasks leave unused; the
-	// processors in their Resources are not reserved.
+	// BestEffort tasks use the processor time that other tasks leave unused;
+	// the processors in their Resources are not reserved.
 	BestEffort bool
 	// MaxUnavailable is the number of long-running tasks that the scheduler may
 	// make unavailable at the same time.
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -14,8 +14,8 @@
 	// adviceRetryMillis is the pause before a request about the same step is
 	// repeated after a failure.
 	adviceRetryMillis clock.Millis = 300
-	// maxAdviceWorkers limits the workers named in one request, because each one
-	// adds to the response time.
+	// maxAdviceWorkers limits the workers named in one request, because each
+	// one adds to the response time.
 	maxAdviceWorkers = 30
 	// ticketMarginMillis is the minimum remaining validity of a ticket for a
 	// start: the start must be committed and reach the worker before the ticket
@@ -50,7 +50,8 @@
 	pendingStep    stepKey
 	pendingWorkers map[jobs.WorkerID]jobs.Incarnation
 	requestedAt    clock.Millis
-	// counts holds the counts of each queue since the start of the term.
+	// counts holds the numbers of requested and approved workers of each queue
+	// in this term.
 	counts map[jobs.QueueName]adviceCount
 }
 
@@ -96,9 +97,10 @@
 }
 
 // requestAdvice asks the advice service which workers may run the waiting tasks
-// of a group, unless another request is pending. The request names as many workers
-// as are likely to yield enough approvals, judged by the earlier responses for the
-// queue. Workers with enough free resources for a task are named first.
+// of a group, unless another request is pending. The request names as many
+// workers as are likely to yield enough approvals, judged by the earlier
+// responses for the queue. Workers with enough free resources for a task are
+// named first.
 func (s *Scheduler[P, H]) requestAdvice(p *pool, g *taskGroup, now clock.Millis) {
 	if s.adviceOf(g.rec).TicketValidity == 0 || s.advice.pendingWorkers != nil {
 		return
@@ -153,9 +155,9 @@
 }
 
 // adviceRequestSize returns the number of workers to name in a request, at most
-// maxAdviceWorkers: one more than the number that the waiting tasks need divided
-// by the share of workers approved so far, which is taken as one half before the
-// first response. All candidates are assumed to be as large as w.
+// maxAdviceWorkers: one more than the number that the waiting tasks need
+// divided by the share of workers approved so far, which is taken as one half
+// before the first response. All candidates are assumed to be as large as w.
 func (s *Scheduler[P, H]) adviceRequestSize(g *taskGroup, w *worker) int {
 	wanted := (len(g.waiting) + w.fitCount(w.capacity, g) - 1) / w.fitCount(w.capacity, g)
 	count := s.advice.counts[g.rec.Queue]
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -55,9 +55,9 @@
 	assert.Equal(t, len(actionsOf(p, ActionAdvise)), 0)
 }
 
-// TestOneAdviceRequestAtATime guards against sending several requests at once. The
-// advice service processes one at a time, so urgent requests would queue behind
-// those for later work.
+// TestOneAdviceRequestAtATime guards against sending several requests at once.
+// The advice service processes one at a time, so urgent requests would queue
+// behind those for later work.
 func TestOneAdviceRequestAtATime(t *testing.T) {
 	f := newAdvisedFixture()
 	f.submit("a", smallStep)
@@ -88,7 +88,8 @@
 }
 
 // TestTicketIsRenewed guards against a start with a ticket that has expired,
-// belongs to an earlier incarnation of the worker, or was refused by the worker.
+// belongs to an earlier incarnation of the worker, or was refused by the
+// worker.
 func TestTicketIsRenewed(t *testing.T) {
 	two := smallStep
 	two.TaskCount, two.MaxPerWorker = 2, 1
@@ -122,9 +123,10 @@
 	}
 }
 
-// TestAdviceRequestSize uses a fleet in which few workers may run a step. It guards
-// against requests that name all workers, which are slow and expensive, and
-// against requests that stay small although none of the workers was approved.
+// TestAdviceRequestSize uses a fleet in which few workers may run a step. It
+// guards against requests that name all workers, which are slow and expensive,
+// and against requests that stay small although none of the workers was
+// approved.
 func TestAdviceRequestSize(t *testing.T) {
 	f := newAdvisedFixture()
 	for n := range 40 {
--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -8,8 +8,9 @@
 	"camphorridge/core/state/place"
 )
 
-// benchmarkFleet returns a scheduler with n workers in pools of 70, and the last
-// heartbeat of each worker. Each worker runs ten tasks and has capacity for more.
+// benchmarkFleet returns a scheduler with n workers in pools of 70, and the
+// last heartbeat of each worker. Each worker runs ten tasks and has capacity
+// for more.
 func benchmarkFleet(n int) (*testScheduler, []Heartbeat) {
 	state := jobs.New()
 	c := jobs.Config{Version: 1}
--- a/core/state/sched/explain_test.go
+++ b/core/state/sched/explain_test.go
@@ -76,8 +76,8 @@
 	assert.Equal(t, report.Steps[0].WaitReason, WaitAdvice)
 }
 
-// TestExplainCounts guards against wrong counts of tasks, runs and failures in a
-// report, and against a list that exceeds its limit.
+// TestExplainCounts guards against wrong counts of tasks, runs and failures in
+// a report, and against a list that exceeds its limit.
 func TestExplainCounts(t *testing.T) {
 	f := newFixture(Defaults())
 	two := smallStep
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -9,12 +9,13 @@
 	"camphorridge/core/state/jobs"
 )
 
-// gangReserveDelayMillis is how long a gang waits before resources that become free
-// are reserved for it.
+// gangReserveDelayMillis is how long a gang waits before resources that become
+// free are reserved for it.
 const gangReserveDelayMillis clock.Millis = 200
 
-// startGang starts all tasks of a gang at once if all of them are waiting and can
-// be placed. It returns false only if they are waiting and cannot be placed.
+// startGang starts all tasks of a gang at once if all of them are waiting and
+// can be placed. It returns false only if they are waiting and cannot be
+// placed.
 func (s *Scheduler[P, H]) startGang(p *pool, g *taskGroup, now clock.Millis) bool {
 	if len(g.waiting) < g.step.TaskCount {
 		return true
@@ -34,8 +35,9 @@
 
 // chooseGangWorkers returns an available worker for each task of a gang, or nil
 // if not all tasks can be placed or the gang should wait. A gang with SameRack
-// works more slowly on several racks. If a rack is large enough for it but has too
-// few free resources, the gang waits for at most the estimate of one of its tasks.
+// works more slowly on several racks. If a rack is large enough for it but has
+// too few free resources, the gang waits for at most the estimate of one of its
+// tasks.
 func (s *Scheduler[P, H]) chooseGangWorkers(p *pool, g *taskGroup, now clock.Millis) []*worker {
 	if !g.step.SameRack {
 		return s.chooseFromRack(p, g, "", now)
@@ -60,9 +62,9 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// chooseFromRack returns an available worker of a rack, or of any rack if rack is
-// empty, for each task of a gang; nil if not all tasks can be placed. Workers are
-// preferred in the same order as for single tasks.
+// chooseFromRack returns an available worker of a rack, or of any rack if rack
+// is empty, for each task of a gang; nil if not all tasks can be placed.
+// Workers are preferred in the same order as for single tasks.
 func (s *Scheduler[P, H]) chooseFromRack(p *pool, g *taskGroup, rack string, now clock.Millis) []*worker {
 	failed := s.failedWorkers(g)
 	byScore := slices.SortedFunc(maps.Values(p.available), func(x, y *worker) int {
@@ -109,9 +111,9 @@
 	return n
 }
 
-// gangCapacity returns the numbers of tasks of the group that the workers of the
-// pool, and those of its rack with the most capacity, can run once all other tasks
-// except long-running ones have ended.
+// gangCapacity returns the numbers of tasks of the group that the workers of
+// the pool, and those of its rack with the most capacity, can run once all
+// other tasks except long-running ones have ended.
 func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (inPool, inBestRack int) {
 	byRack := map[string]int{}
 	for w := range s.liveWorkers(p, now) {
@@ -138,10 +140,10 @@
 	return free
 }
 
-// reservesCapacity reports whether the free resources of the pool are reserved for
-// a gang, so that lower-ranked work must wait. Without this, a gang of many tasks
-// would never find enough free resources at once. Nothing is reserved for a gang
-// that is late, that does not fit in the pool or that waits for advice.
+// reservesCapacity reports whether the free resources of the pool are reserved
+// for a gang, so that lower-ranked work must wait. Without this, a gang of many
+// tasks would never find enough free resources at once. Nothing is reserved for
+// a gang that is late, that does not fit in the pool or that waits for advice.
 func (s *Scheduler[P, H]) reservesCapacity(p *pool, g *taskGroup, now clock.Millis) bool {
 	if g.rank.Class == classLate || now-g.waitingSince < gangReserveDelayMillis {
 		return false
@@ -150,9 +152,9 @@
 	return inPool >= g.step.TaskCount
 }
 
-// stopGang stops the other tasks of a gang after task t has ended before the work
-// of the gang was done. They cannot work without it, and all tasks must start again
-// together. stopGang has no effect if t is not part of a gang.
+// stopGang stops the other tasks of a gang after task t has ended before the
+// work of the gang was done. They cannot work without it, and all tasks must
+// start again together. stopGang has no effect if t is not part of a gang.
 func (s *Scheduler[P, H]) stopGang(rec *jobs.Record, t jobs.TaskID) {
 	if !rec.Steps[t.Step].Gang {
 		return
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -21,8 +21,8 @@
 	return out
 }
 
-// TestGangStartsTogether guards against starting only some tasks of a gang, which
-// would take capacity while they wait for the others.
+// TestGangStartsTogether guards against starting only some tasks of a gang,
+// which would take capacity while they wait for the others.
 func TestGangStartsTogether(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
@@ -33,9 +33,9 @@
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 6)
 }
 
-// TestGangRestartsTogether guards against restarting one task of a gang while the
-// others still run, and against restarting the tasks with different run numbers or
-// from different checkpoints. Such a gang could never work.
+// TestGangRestartsTogether guards against restarting one task of a gang while
+// the others still run, and against restarting the tasks with different run
+// numbers or from different checkpoints. Such a gang could never work.
 func TestGangRestartsTogether(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
@@ -125,9 +125,9 @@
 	assert.Equal(t, report.Steps[0].Failures, 2)
 }
 
-// TestGangReservesCapacity runs a full pool with a constant stream of small tasks.
-// It guards against a gang that never starts because small tasks take each part of
-// the capacity as soon as it becomes free.
+// TestGangReservesCapacity runs a full pool with a constant stream of small
+// tasks. It guards against a gang that never starts because small tasks take
+// each part of the capacity as soon as it becomes free.
 func TestGangReservesCapacity(t *testing.T) {
 	f := newFixture(Defaults())
 	fill := smallStep
@@ -199,17 +199,18 @@
 	}
 }
 
-// TestGangKeepsToOneRack guards against spreading a SameRack gang over two racks
-// although one rack has capacity now or soon; its tasks take several times as long
-// on two racks. It also guards against waiting although no rack is large enough.
+// TestGangKeepsToOneRack guards against spreading a SameRack gang over two
+// racks although one rack has capacity now or soon; its tasks take several
+// times as long on two racks. It also guards against waiting although no rack
+// is large enough.
 func TestGangKeepsToOneRack(t *testing.T) {
 	sameRack := gangStep
 	sameRack.TaskCount, sameRack.SameRack = 5, true
 	for _, c := range []struct {
 		name string
-		// racks are the racks of the workers that send a heartbeat, and want the
-		// numbers of tasks that these start. busy is the rack of a further worker
-		// that is not available yet; empty for none.
+		// racks are the racks of the workers that send a heartbeat, and want
+		// the numbers of tasks that these start. busy is the rack of a further
+		// worker that is not available yet; empty for none.
 		racks []string
 		busy  string
 		want  []int
@@ -246,9 +247,9 @@
 	}
 }
 
-// TestNewLeaderStopsBrokenGang guards against a new leader that leaves a gang
-// running which lost a task under an earlier leader. The other tasks would keep
-// their capacity until they time out.
+// TestNewLeaderStopsBrokenGang guards against a new leader that does not stop
+// the rest of a gang that lost a task under an earlier leader. The other tasks
+// would keep their capacity until they time out.
 func TestNewLeaderStopsBrokenGang(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("g", gangStep)
@@ -262,9 +263,9 @@
 	assert.Equal(t, len(ordersFor(next.Pass(next.now), "w2").Stops), len(rest))
 }
 
-// TestQueueMovedToPoolIsPlacedAtOnce guards against delays after a configuration
-// assigns a queue to another pool: its waiting work must not wait for the next
-// heartbeat from that pool.
+// TestQueueMovedToPoolIsPlacedAtOnce guards against delays after a
+// configuration assigns a queue to another pool: its waiting work must not wait
+// for the next heartbeat from that pool.
 func TestQueueMovedToPoolIsPlacedAtOnce(t *testing.T) {
 	f := newFixture(Defaults())
 	f.submit("a", smallStep)
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -9,10 +9,11 @@
 	"camphorridge/core/state/place"
 )
 
-// Heartbeat processes a heartbeat; the reply is part of a later plan. It ignores
-// an outdated heartbeat and returns false: one whose incarnation was removed or
-// is earlier than that of the worker or of another worker on the machine, or
-// whose sequence number is not higher than that of the last heartbeat processed.
+// Heartbeat processes a heartbeat; the reply is part of a later plan. It
+// ignores an outdated heartbeat and returns false: one whose incarnation was
+// removed or is earlier than that of the worker or of another worker on the
+// machine, or whose sequence number is not higher than that of the last
+// heartbeat processed.
 func (s *Scheduler[P, H]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	s.now = max(s.now, now)
 	w := s.workers[h.Worker]
@@ -56,8 +57,8 @@
 	return true
 }
 
-// replyBy sets the time at which a worker's heartbeat must be answered, unless an
-// earlier time is set.
+// replyBy sets the time at which a worker's heartbeat must be answered, unless
+// an earlier time is set.
 func (s *Scheduler[P, H]) replyBy(w *worker, at clock.Millis) {
 	if w.heartbeat == nil || (w.heartbeat.hasReplyBy && w.heartbeat.replyBy <= at) {
 		return
@@ -86,8 +87,8 @@
 	}
 }
 
-// rackOf returns the label that identifies a worker's rack, which is the last one
-// that contains a hyphen; empty for none.
+// rackOf returns the label that identifies a worker's rack, which is the last
+// one that contains a hyphen; empty for none.
 func rackOf(labels []string) string {
 	for i := len(labels) - 1; i >= 0; i-- {
 		if strings.Contains(labels[i], "-") {
@@ -97,8 +98,8 @@
 	return ""
 }
 
-// handleRunEnds processes the run ends in a heartbeat and returns the highest of
-// their numbers; 0 for none.
+// handleRunEnds processes the run ends in a heartbeat and returns the highest
+// of their numbers; 0 for none.
 func (s *Scheduler[P, H]) handleRunEnds(w *worker, h Heartbeat, now clock.Millis) int64 {
 	ack := int64(0)
 	for _, e := range h.Ends {
@@ -112,10 +113,10 @@
 	return ack
 }
 
-// endRun records the end of a run and queues the tasks that can start because of
-// it: those of dependent steps or, if the run did not complete its task, that
-// task. In the latter case the other tasks of its gang are stopped. If the job has
-// ended, all its tasks are stopped instead.
+// endRun records the end of a run and queues the tasks that can start because
+// of it: those of dependent steps or, if the run did not complete its task,
+// that task. In the latter case the other tasks of its gang are stopped. If the
+// job has ended, all its tasks are stopped instead.
 func (s *Scheduler[P, H]) endRun(w *worker, r *run, result jobs.Result, checkpoint string, now clock.Millis) {
 	if checkpoint == "" {
 		checkpoint = r.checkpoint
@@ -225,8 +226,8 @@
 // arrive, and orders the stop of the runs that are not assigned to the worker.
 // When a worker sends a heartbeat, it has processed or dropped the reply to the
 // one before. An earlier start order for a run that the heartbeat does not list
-// can therefore no longer take effect, and if the run should not start any more, it
-// is ended as lost.
+// can therefore no longer take effect, and if the run should not start any
+// more, it is ended as lost.
 func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
 	for t, extra := range w.unassigned {
 		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
@@ -246,8 +247,8 @@
 	}
 }
 
-// needed reports whether the job still needs the run: the job has not ended, and
-// the task was not completed by the end of another task of its gang.
+// needed reports whether the job still needs the run: the job has not ended,
+// and the task was not completed by the end of another task of its gang.
 func (r *run) needed() bool {
 	t := r.rec.Task(r.task)
 	return !r.rec.Status.Final() && t.Phase == jobs.PhaseAssigned && t.Run == r.number
@@ -290,8 +291,8 @@
 	}
 }
 
-// dropWorker removes an incarnation of a worker that can no longer run anything,
-// and ends its runs as lost so that the tasks start elsewhere.
+// dropWorker removes an incarnation of a worker that can no longer run
+// anything, and ends its runs as lost so that the tasks start elsewhere.
 func (s *Scheduler[P, H]) dropWorker(w *worker, reason string, now clock.Millis) {
 	s.loseRuns(w, reason, now)
 	s.removedIncarnations[w.id] = max(s.removedIncarnations[w.id], w.incarnation)
@@ -316,8 +317,9 @@
 
 // updateHealth updates the worker's failure score with the result of a run,
 // which is compared to the results of the queue's tasks on other workers. It
-// quarantines the worker when the score reaches a threshold. Successive failures
-// of one job count once, because a job that cannot succeed fails on every worker.
+// quarantines the worker when the score reaches a threshold. Successive
+// failures of one job count once, because a job that cannot succeed fails on
+// every worker.
 func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
 	p := s.pool(w.pool)
 	history := p.history[r.rec.Queue]
@@ -344,8 +346,8 @@
 	}
 }
 
-// quarantineFailedJobs is the number of jobs that must fail on a worker, without
-// a successful run in between, before it is quarantined.
+// quarantineFailedJobs is the number of jobs that must fail on a worker,
+// without a successful run in between, before it is quarantined.
 const quarantineFailedJobs = 2
 
 // replyTime returns when a worker's heartbeat must be answered. It is answered
@@ -369,8 +371,8 @@
 }
 
 // predictNextEnd predicts when the next task of the worker ends. The prediction
-// is based on the progress of each task or, if that is unknown, on three quarters
-// of its estimate. ok is false if the worker runs no finite task.
+// is based on the progress of each task or, if that is unknown, on three
+// quarters of its estimate. ok is false if the worker runs no finite task.
 func (w *worker) predictNextEnd(now clock.Millis) (at clock.Millis, ok bool) {
 	for _, r := range w.runs {
 		if r.step.LongRunning {
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -26,8 +26,8 @@
 	DecisionMaintenanceDropped  Decision = "maintenance-dropped"
 )
 
-// Decisions lists all kinds of decision, for the documentation page that explains
-// them.
+// Decisions lists all kinds of decision, for the documentation page that
+// explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
 	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -9,9 +9,10 @@
 	"camphorridge/core/state/jobs"
 )
 
-// Pass makes the scheduling decisions that are due. The plan's orders and actions
-// may be sent only once its operations are committed. The cost of a pass depends
-// on what has changed since the last one and not on the size of the fleet.
+// Pass makes the scheduling decisions that are due. The plan's orders and
+// actions may be sent only once its operations are committed. The cost of a
+// pass depends on what has changed since the last one and not on the size of
+// the fleet.
 func (s *Scheduler[P, H]) Pass(now clock.Millis) Plan {
 	s.now = max(s.now, now)
 	s.expireLeases(now)
@@ -121,8 +122,9 @@
 	s.noteRun(DecisionStarted, r, w, "")
 }
 
-// otherWorkerWaitMillis is how long a task waits for a worker other than the one
-// that it failed on. The wait is limited because the pool may have no other.
+// otherWorkerWaitMillis is how long a task waits for a worker other than the
+// one that it failed on. The wait is limited because the pool may have no
+// other.
 const otherWorkerWaitMillis = clock.Second
 
 // chooseWorker returns the best worker for a task of a group, or nil if there
@@ -226,9 +228,9 @@
 )
 
 // spreadCost returns the cost of placing a long-running task of the group on a
-// worker. The cost grows with the number of tasks of the step that would be lost
-// together with the worker or its rack, and with the number of long-running tasks
-// that a best-effort task would slow down.
+// worker. The cost grows with the number of tasks of the step that would be
+// lost together with the worker or its rack, and with the number of
+// long-running tasks that a best-effort task would slow down.
 func (s *Scheduler[P, H]) spreadCost(w *worker, g *taskGroup) int {
 	cost := sameStepCost * w.taskCount(g.key)
 	if !w.hasLongRunning() {
@@ -265,8 +267,9 @@
 }
 
 // retryAfter returns the pause until a worker's next heartbeat. It lasts until
-// the next expected end of a task, within MinRetryMillis and MaxRetryMillis. For
-// a worker without finite tasks, which waits for work, it is MinRetryMillis.
+// the next expected end of a task, within MinRetryMillis and MaxRetryMillis.
+// For a worker without finite tasks, which waits for work, it is
+// MinRetryMillis.
 func (s *Scheduler[P, H]) retryAfter(w *worker, now clock.Millis) clock.Millis {
 	end, ok := w.predictNextEnd(now)
 	if !ok {
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -25,8 +25,8 @@
 	Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank
 }
 
-// The classes of waiting work in EarliestDeadline, in the order in which they are
-// placed.
+// The classes of waiting work in EarliestDeadline, in the order in which they
+// are placed.
 const (
 	classLongRunning = iota
 	classOnTime
@@ -40,15 +40,15 @@
 	return from + rec.Target + rec.CriticalPath()*clock.Millis(rec.StretchPermille)/1000
 }
 
-// EarliestDeadline places work in the order of deadlines, but work that will miss
-// its deadline after all work that can still meet it. It is meant for a load that
-// exceeds the capacity of the workers for some seconds and is below it
-// afterwards. In the order of deadlines alone, every job of such a peak would
-// start just too late.
+// EarliestDeadline places work in the order of deadlines, but work that will
+// miss its deadline after all work that can still meet it. It is meant for a
+// load that exceeds the capacity of the workers for some seconds and is below
+// it afterwards. In the order of deadlines alone, every job of such a peak
+// would start just too late.
 type EarliestDeadline struct{}
 
-// Rank ranks jobs with long-running tasks first, by priority, then work that can
-// meet its deadline, and last work that cannot, both by deadline.
+// Rank ranks jobs with long-running tasks first, by priority, then work that
+// can meet its deadline, and last work that cannot, both by deadline.
 func (EarliestDeadline) Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank {
 	rank := Rank{Class: classOnTime, Key: Deadline(rec, occurrence), Seq: rec.Seq}
 	switch {
@@ -104,8 +104,9 @@
 	// available holds the workers that are not draining and have a heartbeat
 	// without a reply. Tasks can be assigned only to these.
 	available map[jobs.WorkerID]*worker
-	// newWork is the work that has arrived since the last update of arrivalRate,
-	// in milli-cores times milliseconds, although its type is clock.Millis.
+	// newWork is the work that has arrived since the last update of
+	// arrivalRate, in milli-cores times milliseconds, although its type is
+	// clock.Millis.
 	newWork clock.Millis
 	// arrivalRate is the moving average of the work that arrives per
 	// millisecond, in milli-cores, over about half a second.
@@ -134,8 +135,8 @@
 	key  stepKey
 	rec  *jobs.Record
 	step *jobs.Step
-	// waiting holds the indexes of the waiting tasks; the last one starts first.
-	// waitingSince is when the first task was added to the empty group.
+	// waiting holds the indexes of the waiting tasks; the last one starts
+	// first. waitingSince is when the first task was added to the empty group.
 	waiting      []int
 	waitingSince clock.Millis
 	rank         Rank
@@ -254,8 +255,8 @@
 	}
 }
 
-// maxRankAgeMillis limits the age of the ranks of waiting work. They change only
-// when work becomes late, which takes seconds.
+// maxRankAgeMillis limits the age of the ranks of waiting work. They change
+// only when work becomes late, which takes seconds.
 const maxRankAgeMillis clock.Millis = 100
 
 // sortGroups sorts the groups of a pool by rank and removes those without
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -26,8 +26,8 @@
 	// move was refused.
 	moveRetryMillis = clock.Second
 	// unplacedWaitMillis is how long a long-running task waits before its pool
-	// counts as lacking a machine for it. It is longer than the maximum delay of
-	// a reply to a heartbeat.
+	// counts as lacking a machine for it. It is longer than the maximum delay
+	// of a reply to a heartbeat.
 	unplacedWaitMillis clock.Millis = 800
 	// loadNotePeriodMillis is the interval between two notes about the load of
 	// the pools.
@@ -93,8 +93,8 @@
 
 // rebalance moves machines to pools whose waiting work does not start in time:
 // first machines of the standby pool, which are powered off, then idle machines
-// of other pools. Machines that stay idle are moved to the standby pool. This is
-// designed for pools whose loads rise, one after the other, to several times
+// of other pools. Machines that stay idle are moved to the standby pool. This
+// is designed for pools whose loads rise, one after the other, to several times
 // their mean for some seconds, and for moves that take about 1.5 seconds.
 func (s *Scheduler[P, H]) rebalance(now clock.Millis) {
 	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance || now < s.termStart+s.settings.TakeoverDelayMillis {
@@ -170,8 +170,8 @@
 	return false
 }
 
-// standbyPool returns the name of the first pool whose machines are powered off;
-// empty for none.
+// standbyPool returns the name of the first pool whose machines are powered
+// off; empty for none.
 func (s *Scheduler[P, H]) standbyPool() jobs.PoolName {
 	for _, p := range s.State.Config.Pools {
 		if p.Standby {
@@ -229,9 +229,9 @@
 	}
 }
 
-// poolLoads returns the loads of all pools except standby pools, those that lack
-// the most machines first. It also updates the arrival rates, the machine size
-// and how long workers have been idle.
+// poolLoads returns the loads of all pools except standby pools, those that
+// lack the most machines first. It also updates the arrival rates, the machine
+// size and how long workers have been idle.
 func (s *Scheduler[P, H]) poolLoads(now clock.Millis) []*poolLoad {
 	byPool := map[jobs.PoolName]*poolLoad{}
 	for _, p := range s.State.Config.Pools {
@@ -294,8 +294,8 @@
 }
 
 // machinesForUnplacedTasks returns the number of additional machines that the
-// pool needs for long-running tasks which no available worker could take, mostly
-// because their step limits the tasks on one worker.
+// pool needs for long-running tasks which no available worker could take,
+// mostly because their step limits the tasks on one worker.
 func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
@@ -328,10 +328,10 @@
 	return clock.Millis(tasks*step.Resources.MilliCores) * duration
 }
 
-// requiredMilliCores returns the processors that the worker's tasks require: the
-// whole reservation of a long-running task, and for any other task its remaining
-// work divided by the time within which it should end. The unit is milli-cores,
-// although the type is clock.Millis.
+// requiredMilliCores returns the processors that the worker's tasks require:
+// the whole reservation of a long-running task, and for any other task its
+// remaining work divided by the time within which it should end. The unit is
+// milli-cores, although the type is clock.Millis.
 func (w *worker) requiredMilliCores(now, within clock.Millis) clock.Millis {
 	sum := clock.Millis(0)
 	for _, r := range w.runs {
@@ -355,9 +355,9 @@
 	p.newWork = 0
 }
 
-// waitingWork returns the amount of waiting work of the pool, without best-effort
-// tasks and without work that can no longer meet its deadline. The unit is
-// milli-cores times milliseconds, although the type is clock.Millis.
+// waitingWork returns the amount of waiting work of the pool, without
+// best-effort tasks and without work that can no longer meet its deadline. The
+// unit is milli-cores times milliseconds, although the type is clock.Millis.
 func (p *pool) waitingWork() clock.Millis {
 	sum := clock.Millis(0)
 	for _, g := range p.groups {
@@ -405,11 +405,11 @@
 	return false
 }
 
-// vacateWorkers keeps new tasks off busy workers of pools that have more machines
-// than they need, up to the number of machines that other pools lack. Otherwise
-// a stream of short tasks, of a second or two, would keep each of these workers
-// slightly busy for as long as its pool has any work, and its machine could not
-// be moved.
+// vacateWorkers keeps new tasks off busy workers of pools that have more
+// machines than they need, up to the number of machines that other pools lack.
+// Otherwise a stream of short tasks, of a second or two, would keep each of
+// these workers slightly busy for as long as its pool has any work, and its
+// machine could not be moved.
 func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
 	for i := len(loads) - 1; i >= 0; i-- {
 		load := loads[i]
@@ -468,11 +468,11 @@
 	w := s.workerByMachine[action.Machine]
 	sameIncarnation := w != nil && w.incarnation == move.incarnation
 	if outcome.Answer != AnswerDone {
-		s.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("machine %s to pool %s: %s", action.Machine, action.Pool, outcome))
+		s.noteFleet(DecisionMachineNotMoved, fmt.Sprintf("%s to pool %s: %s", action.Machine, action.Pool, outcome))
 	}
 	switch outcome.Answer {
 	case AnswerDone:
-		s.noteFleet(DecisionMachineMoved, "machine "+string(action.Machine)+" to pool "+string(action.Pool))
+		s.noteFleet(DecisionMachineMoved, string(action.Machine)+" to pool "+string(action.Pool))
 		if sameIncarnation {
 			s.dropWorker(w, "the machine of the worker was moved", now)
 		}
@@ -493,8 +493,8 @@
 }
 
 // machineArrived ends the move of a worker's machine if a new incarnation has
-// sent a heartbeat from the target pool. A machine with a worker is not in
-// standby.
+// sent a heartbeat from the target pool. It also removes the machine from the
+// standby machines, because these run no worker.
 func (s *Scheduler[P, H]) machineArrived(w *worker) {
 	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation != w.incarnation && move.to == w.pool {
 		delete(s.fleet.moves, w.machine)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -50,8 +50,8 @@
 	// now be answered at an earlier time.
 	replyDeadlines heap.Heap[replyDeadline]
 	// leaseEnds orders the workers by the end of their lease. If the lease has
-	// been renewed when the end in an entry is reached, the entry is replaced by
-	// one with the new end.
+	// been renewed when the end in an entry is reached, the entry is replaced
+	// by one with the new end.
 	leaseEnds heap.Heap[leaseEnd]
 	// dirtyPools holds the pools with newly available workers or new waiting
 	// work; the next pass places tasks only in these.
@@ -123,8 +123,8 @@
 	// leaseExpired is set from the end of the lease until the next heartbeat.
 	leaseExpired bool
 	speed        speed
-	// idleSince is when poolLoads first found that the worker runs nothing; 0 if
-	// it runs something.
+	// idleSince is when poolLoads first found that the worker runs nothing; 0
+	// if it runs something.
 	idleSince clock.Millis
 	// failureScore measures the evidence that the worker itself is faulty. The
 	// worker is quarantined until quarantinedUntil.
@@ -172,10 +172,10 @@
 	stopReason   string
 }
 
-// New returns the scheduler of a leader whose term starts at now. state is a copy
-// of the committed state. A task that is assigned in it may run on its worker
-// until the longest possible lease has ended, even if the worker never sends a
-// heartbeat.
+// New returns the scheduler of a leader whose term starts at now. state is a
+// copy of the committed state. A task that is assigned in it may run on its
+// worker until the longest possible lease has ended, even if the worker never
+// sends a heartbeat.
 func New[P RankPolicy, H place.HealthPolicy](settings Settings, policy P, health H, state *jobs.State, now clock.Millis) *Scheduler[P, H] {
 	s := &Scheduler[P, H]{
 		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
@@ -355,8 +355,8 @@
 	s.reassignPools()
 }
 
-// PendingJobs returns the number of accepted jobs of a queue of which no task has
-// been assigned. Scheduled jobs are not counted.
+// PendingJobs returns the number of accepted jobs of a queue of which no task
+// has been assigned. Scheduled jobs are not counted.
 func (s *Scheduler[P, H]) PendingJobs(q jobs.QueueName) int {
 	n := 0
 	for _, p := range s.pools {
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/place"
 )
 
-// The number of simulations without -short, and the numbers of steps of each one
-// with injected faults and, after that, without.
+// The number of simulations without -short, and the numbers of steps of each
+// one with injected faults and, after that, without.
 const (
 	simulations    = 10_000
 	faultySteps    = 500
@@ -21,9 +21,9 @@
 // TestSimulatedFaults runs seeded random sequences of submissions,
 // resubmissions, run ends, cancellations, lost and late messages, crashes,
 // partitions, drains and changes of leader with a stale leader. It guards
-// against a task that runs twice at the same time, that starts after it was done
-// or has failed too often, or that starts before its dependencies are done or
-// before it is due. It also guards against a job that never ends.
+// against a task that runs twice at the same time, that starts after it was
+// done or has failed too often, or that starts before its dependencies are done
+// or before it is due. It also guards against a job that never ends.
 func TestSimulatedFaults(t *testing.T) {
 	n := simulations
 	if testing.Short() {
@@ -161,8 +161,8 @@
 	assert.Equal(t, o.Starts[0].Run, 2)
 }
 
-// TestEarlierIncarnationIsRejected guards against accepting a late heartbeat of a
-// worker process that no longer runs: work would be assigned to it.
+// TestEarlierIncarnationIsRejected guards against accepting a late heartbeat of
+// a worker process that no longer runs: work would be assigned to it.
 func TestEarlierIncarnationIsRejected(t *testing.T) {
 	f := newFixture(Defaults())
 	f.heartbeat("w1", 2, nil)
@@ -266,9 +266,9 @@
 }
 
 // TestNewLeaderRespectsMaxDown guards against more than MaxDown machines being
-// down after a change of leader. An earlier leader may have given orders for more
-// machines, because some orders were refused, and its successor must not repeat all
-// of them at once.
+// down after a change of leader. An earlier leader may have given orders for
+// more machines, because some orders were refused, and its successor must not
+// repeat all of them at once.
 func TestNewLeaderRespectsMaxDown(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
@@ -349,9 +349,9 @@
 	assert.Assert(t, f.workers["w1"] != nil)
 }
 
-// TestBacklogBringsStandbyMachines guards against work that starts too late although
-// machines are in standby: it submits more work than the machines of the pool can
-// start in time.
+// TestBacklogBringsStandbyMachines guards against work that starts too late
+// although machines are in standby: it submits more work than the machines of
+// the pool can start in time.
 func TestBacklogBringsStandbyMachines(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
@@ -388,8 +388,8 @@
 	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMove)), 2)
 }
 
-// TestIdleMachinesMoveToStandby guards against paying for more idle machines than
-// the reserve.
+// TestIdleMachinesMoveToStandby guards against paying for more idle machines
+// than the reserve.
 func TestIdleMachinesMoveToStandby(t *testing.T) {
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -10,10 +10,10 @@
 	"camphorridge/core/state/place"
 )
 
-// Parameters of the simulated fleet. replyTimeoutMillis is how long a worker waits
-// for a reply, and gangTimeoutMillis how long a task of a gang waits for the
-// others. maxConfirmAgeMillis is how long a leader sends replies after it last
-// confirmed its leadership.
+// Parameters of the simulated fleet. replyTimeoutMillis is how long a worker
+// waits for a reply, and gangTimeoutMillis how long a task of a gang waits for
+// the others. maxConfirmAgeMillis is how long a leader sends replies after it
+// last confirmed its leadership.
 const (
 	stepMillis          clock.Millis = 20
 	replyTimeoutMillis               = clock.Second
@@ -24,11 +24,12 @@
 
 type testScheduler = Scheduler[EarliestDeadline, place.PeerComparison]
 
-// simLeader is a process that is the leader or believes that it is. Its scheduler
-// is ahead of the committed state until its operations are committed.
+// simLeader is a process that is the leader or believes that it is. Its
+// scheduler is ahead of the committed state until its operations are committed.
 type simLeader struct {
 	scheduler *testScheduler
-	// token is the fencing token of the leader; it increases with each election.
+	// token is the fencing token of the leader; it increases with each
+	// election.
 	token uint64
 	// confirmedAt is when the process last confirmed its leadership.
 	confirmedAt clock.Millis
@@ -236,8 +237,8 @@
 }
 
 // runPass runs a pass of a leader. Only the current leader commits. A stale one
-// still sends the replies of a plan without operations, until maxConfirmAgeMillis
-// after its last confirmation.
+// still sends the replies of a plan without operations, until
+// maxConfirmAgeMillis after its last confirmation.
 func (sim *simulation) runPass(l *simLeader, leads bool) {
 	p := l.scheduler.Pass(sim.now)
 	if leads {
@@ -381,9 +382,9 @@
 	}
 }
 
-// updateGangs starts the work of gangs whose tasks are all running. It stops the
-// running tasks of a gang that has lost a task or whose other tasks do not start
-// within gangTimeoutMillis.
+// updateGangs starts the work of gangs whose tasks are all running. It stops
+// the running tasks of a gang that has lost a task or whose other tasks do not
+// start within gangTimeoutMillis.
 func (sim *simulation) updateGangs() {
 	present := map[runKey]int{}
 	for _, w := range sim.workers {
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -14,9 +14,9 @@
 	"camphorridge/core/state/place"
 )
 
-// Parameters of the simulated load for comparing rank policies. During the surge
-// the load is twice what the pool can process; before and after it is low. Jobs
-// arrive for loadMillis, and those that are left then can end within
+// Parameters of the simulated load for comparing rank policies. During the
+// surge the load is twice what the pool can process; before and after it is
+// low. Jobs arrive for loadMillis, and those that are left then can end within
 // loadDrainMillis. The simulation proceeds in steps of loadStepMillis.
 const (
 	loadWorkers                          = 9
@@ -75,9 +75,10 @@
 }
 
 // upperBound returns an upper bound on the number of jobs that any schedule can
-// complete on time. For each of several time windows, the jobs that arrive in it
-// and whose deadline is in it must share its processor time. At most as many of
-// them can complete on time as fit into it when the smallest are chosen first.
+// complete on time. For each of several time windows, the jobs that arrive in
+// it and whose deadline is in it must share its processor time. At most as many
+// of them can complete on time as fit into it when the smallest are chosen
+// first.
 func upperBound(all []simJob) int {
 	const cores = loadWorkers * loadMilliCoresPerWorker / 1000
 	bound := len(all)
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -15,14 +15,14 @@
 	slowTailPermille = 950
 	fastTailPermille = 750
 	// Slowing down divides the speed by speedDivisor, and speeding up adds
-	// speedStepPercent. A speed that would fall below minSpeedPercent becomes 0,
-	// which takes three slowdowns from full speed.
+	// speedStepPercent. A speed that would fall below minSpeedPercent becomes
+	// 0, which takes three slowdowns from full speed.
 	speedDivisor     = 3
 	speedStepPercent = 10
 	minSpeedPercent  = 10
 	fullSpeedPercent = 100
 	// fullSpeedRepeats is the number of replies that order a return to full
-	// speed; one could be lost. A lower speed is part of every reply.
+	// speed, because replies may be lost. A lower speed is part of every reply.
 	fullSpeedRepeats = 3
 )
 
@@ -37,14 +37,14 @@
 }
 
 // unknownSpeed returns the initial speed for a worker that received orders from
-// an earlier leader: full speed, ordered in the next replies because that leader
-// may have throttled the worker.
+// an earlier leader: full speed, ordered in the next replies because that
+// leader may have throttled the worker.
 func unknownSpeed() speed { return speed{percent: fullSpeedPercent, repeatsLeft: fullSpeedRepeats} }
 
 // adjustSpeed slows down the best-effort tasks on a worker while a serving task
-// there is close to or above its latency target, and speeds them up step by step
-// once all are well below. The adjustment is fast enough for loads of serving
-// tasks that change within seconds.
+// there is close to or above its latency target, and speeds them up step by
+// step once all are well below. The adjustment is fast enough for loads of
+// serving tasks that change within seconds.
 func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
 	worstPermille, bestEffortTasks := w.tailLatency()
 	if bestEffortTasks == 0 {
@@ -88,8 +88,8 @@
 func (r *run) throttleable() bool { return r.step.BestEffort && r.listed && !r.stopping }
 
 // tailLatency returns the worst tail latency of the serving tasks on the
-// worker, in permille of the target, and the number of best-effort tasks on it that
-// can be throttled.
+// worker, in permille of the target, and the number of best-effort tasks on it
+// that can be throttled.
 func (w *worker) tailLatency() (worstPermille, bestEffortTasks int) {
 	for _, r := range w.runs {
 		if r.throttleable() {
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -81,8 +81,9 @@
 	assert.Assert(t, workMillis > 26*clock.Second, "the work of the best-effort task amounts to %d ms at full speed", workMillis)
 }
 
-// TestServingAloneIsNotThrottled guards against useless throttle orders when a tail
-// latency exceeds its target although no best-effort task runs on the worker.
+// TestServingAloneIsNotThrottled guards against useless throttle orders when a
+// tail latency exceeds its target although no best-effort task runs on the
+// worker.
 func TestServingAloneIsNotThrottled(t *testing.T) {
 	f, running := newThrottleFixture(t)
 	for i := range running {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -22,8 +22,8 @@
 	MinRetryMillis clock.Millis
 	MaxRetryMillis clock.Millis
 	// TakeoverDelayMillis is how long a new leader waits before it orders
-	// maintenance or moves, so that it and the previous leader do not order them
-	// for the same machine in turn.
+	// maintenance or moves, so that it and the previous leader do not order
+	// them for the same machine in turn.
 	TakeoverDelayMillis clock.Millis
 	// MaintenanceMillis is how long the maintenance of a machine takes.
 	MaintenanceMillis clock.Millis
@@ -33,14 +33,14 @@
 	BacklogTargetMillis clock.Millis
 	// MoveMillis is how long the move of a machine takes.
 	MoveMillis clock.Millis
-	// IdleMillis is how long the worker of a machine must run nothing before the
-	// machine is moved to the standby pool.
+	// IdleMillis is how long the worker of a machine must run nothing before
+	// the machine is moved to the standby pool.
 	IdleMillis clock.Millis
-	// ReserveMachines is the number of machines that a pool keeps in addition to
-	// those that it needs.
+	// ReserveMachines is the number of machines that a pool keeps in addition
+	// to those that it needs.
 	ReserveMachines int
-	// QuarantineMillis is how long a worker on which tasks fail or stall gets no
-	// new tasks.
+	// QuarantineMillis is how long a worker on which tasks fail or stall gets
+	// no new tasks.
 	QuarantineMillis clock.Millis
 	// StallMillis plus a quarter of its estimate is how long a task may make no
 	// progress before it is stopped and started elsewhere.
@@ -97,9 +97,9 @@
 	// Remaining is the minimum time until it exits.
 	Draining  bool
 	Remaining clock.Millis
-	// Running lists all runs on the worker. Ends lists the run ends that are not
-	// acknowledged; a worker limits their number and reports the rest once these
-	// are acknowledged.
+	// Running lists all runs on the worker. Ends lists the run ends that are
+	// not acknowledged; a worker limits their number and reports the rest once
+	// these are acknowledged.
 	Running []RunStatus
 	Ends    []RunEnd
 	// ReceivedAt is the leader's monotonic time of receipt.
@@ -211,7 +211,7 @@
 	Actions []Action
 	// Notes explain the decisions of the pass.
 	Notes []Note
-	// NextPass is when the next pass is due, unless an event requires an earlier
-	// one.
+	// NextPass is when the next pass is due, unless an event requires an
+	// earlier one.
 	NextPass clock.Millis
 }
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/jobs"
 )
 
-// maintenanceRetryMillis is the pause before a maintenance order is repeated after it
-// was refused for now or its answer was lost.
+// maintenanceRetryMillis is the pause before a maintenance order is repeated
+// after it was refused for now or its answer was lost.
 const maintenanceRetryMillis clock.Millis = 400
 
 // refusalsBeforeRelisting is the number of refused orders for a machine after
@@ -92,9 +92,10 @@
 	}
 }
 
-// clearReturned ends the downtime of machines whose worker has a new incarnation.
-// A downtime also ends after the longest time that a maintenance can take, because
-// no worker returns on some machines, such as those that are powered off.
+// clearReturned ends the downtime of machines whose worker has a new
+// incarnation. A downtime also ends after the longest time that a maintenance
+// can take, because no worker returns on some machines, such as those that are
+// powered off.
 func (s *Scheduler[P, H]) clearReturned(v *wave, now clock.Millis) {
 	for m, down := range v.down {
 		if v.pending[m] {
@@ -113,9 +114,9 @@
 	}
 }
 
-// clearGoingDown is called when the time for the maintenance or move of a machine
-// is over. If its worker is still the given incarnation, the order was not carried
-// out, and the worker may get new tasks again. w may be nil.
+// clearGoingDown is called when the time for the maintenance or move of a
+// machine is over. If its worker is still the given incarnation, the order was
+// not carried out, and the worker may get new tasks again. w may be nil.
 func (s *Scheduler[P, H]) clearGoingDown(w *worker, incarnation jobs.Incarnation) {
 	if w != nil && w.incarnation == incarnation && w.goingDown {
 		w.goingDown = false
@@ -123,10 +124,11 @@
 	}
 }
 
-// advanceWave orders the maintenance of machines of a wave and keeps new tasks off
-// the machines that come next. At most MaxDown machines are down at a time, and no
-// more than the deadline requires. Machines of pools without waiting work come
-// first, so that the wave takes little capacity from pools that need it.
+// advanceWave orders the maintenance of machines of a wave and keeps new tasks
+// off the machines that come next. At most MaxDown machines are down at a time,
+// and no more than the deadline requires. Machines of pools without waiting
+// work come first, so that the wave takes little capacity from pools that need
+// it.
 func (s *Scheduler[P, H]) advanceWave(v *wave, now clock.Millis) {
 	var remaining []jobs.MachineID
 	for _, m := range v.Machines {
@@ -145,9 +147,10 @@
 		switch {
 		case v.nextOrder[m] > now:
 		case isDown && len(v.down) > v.MaxDown:
-			// An earlier leader gave orders for more than MaxDown machines, because
-			// some orders were refused. It is unknown which of the machines are
-			// down, so no order is repeated before enough downtimes have ended.
+			// An earlier leader gave orders for more than MaxDown machines,
+			// because some orders were refused. It is unknown which of the
+			// machines are down, so no order is repeated before enough
+			// downtimes have ended.
 		case isDown:
 			// The answer to an earlier order was lost.
 			s.orderMaintenance(v, m, w, now)
@@ -168,8 +171,8 @@
 // completed.
 const deadlineMarginMillis = 3 * clock.Second
 
-// requiredParallelism returns the number of machines that must be down at a time
-// to complete the wave deadlineMarginMillis before its deadline, from 1 to
+// requiredParallelism returns the number of machines that must be down at a
+// time to complete the wave deadlineMarginMillis before its deadline, from 1 to
 // MaxDown.
 func (s *Scheduler[P, H]) requiredParallelism(v *wave, now clock.Millis) int {
 	remaining := clock.Millis(len(v.Machines) - len(v.Started))
@@ -208,10 +211,11 @@
 	return slices.ContainsFunc(p.groups, func(g *taskGroup) bool { return len(g.waiting) > 0 && !g.rec.Status.Final() })
 }
 
-// mayGoDown reports whether the machine of a worker may go down now. It may if all
-// tasks except long-running ones have ended or the wave is behind schedule, and if
-// no step would exceed its MaxUnavailable. If a step would exceed it only because
-// several of its tasks are on the machine, mayGoDown stops one of them.
+// mayGoDown reports whether the machine of a worker may go down now. It may if
+// all tasks except long-running ones have ended or the wave is behind schedule,
+// and if no step would exceed its MaxUnavailable. If a step would exceed it
+// only because several of its tasks are on the machine, mayGoDown stops one of
+// them.
 func (s *Scheduler[P, H]) mayGoDown(v *wave, w *worker, now clock.Millis) bool {
 	if w == nil {
 		return true
@@ -248,8 +252,8 @@
 	return true
 }
 
-// stopOneTask stops one of the n tasks of a long-running step on a worker, so that
-// it starts on another worker before the machine goes down.
+// stopOneTask stops one of the n tasks of a long-running step on a worker, so
+// that it starts on another worker before the machine goes down.
 func (s *Scheduler[P, H]) stopOneTask(w *worker, k stepKey, n int) {
 	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
@@ -281,9 +285,9 @@
 	return n
 }
 
-// behindSchedule reports whether the remaining maintenance of a wave, of MaxDown
-// machines at a time, takes longer than the time left until the deadline. The wave
-// then no longer waits for running tasks to end.
+// behindSchedule reports whether the remaining maintenance of a wave, of
+// MaxDown machines at a time, takes longer than the time left until the
+// deadline. The wave then no longer waits for running tasks to end.
 func (s *Scheduler[P, H]) behindSchedule(v *wave, now clock.Millis) bool {
 	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
 	return now+clock.Millis(rounds)*(s.settings.MaintenanceMillis+s.settings.MaxHoldMillis) > v.Deadline
@@ -314,8 +318,8 @@
 	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
 }
 
-// noteMaintenanceOrder adds a note on an order: which tasks with MaxUnavailable it
-// ends, and how many tasks of their step are unavailable then.
+// noteMaintenanceOrder adds a note on an order: which tasks with MaxUnavailable
+// it ends, and how many tasks of their step are unavailable then.
 func (s *Scheduler[P, H]) noteMaintenanceOrder(v *wave, m jobs.MachineID, w *worker) {
 	reason := fmt.Sprintf("machine %s for wave %d, %d machines of the wave are down or ordered to go down", m, v.Number, len(v.down))
 	if w != nil {
@@ -343,8 +347,8 @@
 	// repeated.
 	AnswerRefusedForNow
 	// AnswerRefusedForGood means that nothing was done, and the same request
-	// would be refused again. For a maintenance order, the machine does not exist
-	// or is not part of the wave.
+	// would be refused again. For a maintenance order, the machine does not
+	// exist or is not part of the wave.
 	AnswerRefusedForGood
 	// AnswerUnknown means that there was no answer; the action may have been
 	// carried out.
@@ -417,9 +421,9 @@
 	}
 }
 
-// dropMissingMachines records the maintenance of machines that no longer exist as
-// started, so that their waves do not wait for them. listed holds the machines
-// that exist.
+// dropMissingMachines records the maintenance of machines that no longer exist
+// as started, so that their waves do not wait for them. listed holds the
+// machines that exist.
 func (s *Scheduler[P, H]) dropMissingMachines(listed map[jobs.MachineID]bool, now clock.Millis) {
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
