Restore two reasons and say that Speculative has no effect

The period of the tail latency and the cost of too small advice requests had been shortened away. Package sched reads Step.Speculative nowhere.

--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -151,7 +151,8 @@
 	DataRack string
 	// MaxPerWorker limits the tasks of the step on one worker; 0 for no limit.
 	MaxPerWorker int
-	// Speculative allows several concurrent runs of a task.
+	// Speculative allows several concurrent runs of a task. Package sched never
+	// starts more than one.
 	Speculative bool
 	// LongRunning tasks run until the job is cancelled. All other tasks are
 	// finite: they end when their work is done.
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -125,8 +125,8 @@
 
 // TestAdviceRequestSize uses a fleet in which few workers may run a step. It
 // guards against requests that name all workers, which are slow and expensive,
-// and against requests that stay small although none of the workers was
-// approved.
+// and against requests that stay small although no worker was approved: each
+// one that names too few has to be followed by another.
 func TestAdviceRequestSize(t *testing.T) {
 	f := newAdvisedFixture()
 	for n := range 40 {
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -7,7 +7,7 @@
 // Parameters of the throttling of best-effort tasks.
 const (
 	// speedPeriodMillis is the minimum time between two changes of the speed.
-	// It is the period that the tail latency in a heartbeat covers.
+	// The tail latency in a heartbeat covers the last half second.
 	speedPeriodMillis clock.Millis = 500
 	// Best-effort tasks are slowed down while the tail latency of any serving
 	// task exceeds slowTailPermille of its target, and sped up while the tail
