--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -31,7 +31,7 @@
 	lowest := clock.Millis(0)
 	for _, id := range p.preemptionWorkers(bucketOf(need.MilliCores)) {
 		w := p.workers[id]
-		if !p.usable(w, now) || slices.Contains(t.failedOn, id) || !need.Fits(w.Size.Minus(w.used).Plus(w.preemptible)) {
+		if !p.usable(w, now) || slices.Contains(t.failedOn, id) || !need.FitsIn(w.Size.Minus(w.used).Plus(w.preemptible)) {
 			continue
 		}
 		shortfall := need.Minus(w.Size.Minus(w.used))
@@ -52,7 +52,7 @@
 	p.reservedWorkers[best.ID] = true
 	p.disrupt(victims, now, "capacity is freed for urgent task "+string(t.ID))
 	p.updateIndex(best)
-	if need.Fits(best.Size.Minus(best.used)) {
+	if need.FitsIn(best.Size.Minus(best.used)) {
 		// Throttling alone freed enough, and it takes effect at once.
 		p.cancelReservation(best)
 		p.start(t, best, now)
@@ -81,7 +81,7 @@
 			shortfall = shortfall.Minus(t.reserved)
 		}
 	}
-	if shortfall.Fits(Size{}) {
+	if shortfall.FitsIn(Size{}) {
 		return
 	}
 	victims, _ := p.selectVictims(w, shortfall, now, func(*task) bool { return true })
@@ -99,7 +99,7 @@
 	selected := map[*task]bool{}
 	for _, kind := range []ActionKind{ActionCheckpoint, ActionThrottle, ActionStop} {
 		for _, t := range p.victimsFor(w, kind, now) {
-			if shortfall.Fits(Size{}) {
+			if shortfall.FitsIn(Size{}) {
 				return out, true
 			}
 			gain, cost := p.gainAndCost(t, kind, now)
@@ -114,7 +114,7 @@
 			out = append(out, victim{task: t, kind: kind, cost: cost})
 		}
 	}
-	return out, shortfall.Fits(Size{})
+	return out, shortfall.FitsIn(Size{})
 }
 
 // reducesShortfall reports whether the gain covers part of the shortfall.
@@ -202,7 +202,7 @@
 		for _, tid := range sortedKeys(w.tasks) {
 			t := w.tasks[tid]
 			full := p.sizeToReserve(t.Task)
-			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).Fits(w.Size.Minus(w.used)) {
+			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).FitsIn(w.Size.Minus(w.used)) {
 				continue
 			}
 			t.cpuPercent = 100
