Rename exported names of model, maint, admit, route and fleet

- The event kinds now have the names that they write out: EventUpstreamLeft was written as "upstream-leaving", EventConflict as "change-refused", and EventRefused, EventUnknown, EventChange, EventInstance, EventTable and EventUpstreamUp did not say what was refused, unknown and so on.
- admit.ReasonContract, ReasonPool, ReasonShare, ReasonQueue and ReasonRetry named the topic, not the reason: ReasonNoContract, ReasonPoolNotCovered, ReasonNoShare, ReasonQueueFull, ReasonRetryBudget.
- Instance.OutSince is OutOfServiceSince, like the method OutOfService.
- Upstream.RoutableSince also held restarts and the end of ejections, so it is SlowStartFrom.
- maint.Settings.ObservationMillis had nothing to do with maint.Observation; it is TouchedMillis.
Tally.Failed counts instances next to Failures, which counts requests; it is FailedInstances.
- fleet.HeldClaim also described closed claims; it is ClaimRecord.

--- a/core/coord/entry/admission.go
+++ b/core/coord/entry/admission.go
@@ -51,7 +51,7 @@
 		return admit.ReasonNone
 	}
 	if !q.Customer.TakeRetry() {
-		return admit.ReasonRetry
+		return admit.ReasonRetryBudget
 	}
 	d.counts.Retries++
 	return admit.ReasonNone
@@ -68,7 +68,7 @@
 		d.refuse(req, noUpstream(r.Pool))
 		return
 	default:
-		d.refuse(req, d.refusal(admit.ReasonShare, r.Pool))
+		d.refuse(req, d.refusal(admit.ReasonNoShare, r.Pool))
 		return
 	}
 	capacity := max(d.capacity(now, r.Pool), 1)
@@ -136,7 +136,7 @@
 	elapsed := m.elapsed
 	if m.outcome == OutcomeUnknown || m.outcome == OutcomeTimeout {
 		d.event(model.Event{
-			Kind: model.EventUnknown, Customer: g.queue.Customer.Name, Pool: g.queue.Pool,
+			Kind: model.EventOutcomeUnknown, Customer: g.queue.Customer.Name, Pool: g.queue.Pool,
 			Instance: g.instance(), Request: g.id,
 		})
 	}
@@ -207,11 +207,11 @@
 func (d *Dispatcher[P, Q, L]) refusal(reason admit.Reason, p model.Pool) Refusal {
 	r := Refusal{Reason: reason.String(), RetryAfter: clock.Second}
 	switch reason {
-	case admit.ReasonContract, admit.ReasonPool:
+	case admit.ReasonNoContract, admit.ReasonPoolNotCovered:
 		r.Kind, r.RetryAfter = RefusalNoContract, 0
 	case admit.ReasonDeadline:
 		r.Kind = RefusalDeadline
-	case admit.ReasonShare:
+	case admit.ReasonNoShare:
 		r.Kind = RefusalCapacity
 	default:
 		r.Kind = RefusalLimit
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -112,14 +112,14 @@
 		d.setContract(c)
 	}
 	for _, c := range delta.RemovedContracts {
-		d.refuseAll(d.admission.RemoveCustomer(c), admit.ReasonContract)
+		d.refuseAll(d.admission.RemoveCustomer(c), admit.ReasonNoContract)
 	}
 	if len(delta.Instances)+len(delta.RemovedInstances) > 0 {
 		d.updateDerivedLimits()
 	}
 	d.ready = true
 	if old.Version != d.table.Version {
-		d.event(model.Event{Kind: model.EventTable, Version: d.table.Version})
+		d.event(model.Event{Kind: model.EventTableInForce, Version: d.table.Version})
 	}
 	d.startAllWaiting(now)
 	return nil
@@ -152,7 +152,7 @@
 // setContract sets this process's share of a contract's limits.
 func (d *Dispatcher[P, Q, L]) setContract(c model.Contract) {
 	share := admit.LimitOf(c, d.minSlots).Divide(d.processRank, d.processCount)
-	d.refuseAll(d.admission.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPool)
+	d.refuseAll(d.admission.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPoolNotCovered)
 }
 
 // updateDerivedLimits recomputes the concurrency limits that are derived from the
@@ -242,9 +242,9 @@
 	}
 	a := received.Announcement
 	d.router.SetAnnouncement(now, a, true)
-	e := model.Event{Kind: model.EventUpstreamUp, Instance: a.Instance, Pool: a.Pool, Detail: a.Address}
+	e := model.Event{Kind: model.EventUpstreamAnnounced, Instance: a.Instance, Pool: a.Pool, Detail: a.Address}
 	if a.State == model.AnnounceLeaving {
-		e.Kind = model.EventUpstreamLeft
+		e.Kind = model.EventUpstreamLeaving
 	}
 	if !known || previous.Announcement != a || previous.Expired {
 		d.event(e)
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -279,7 +279,7 @@
 	d.refusalsReportedAt = now
 	for k, n := range d.refusals {
 		d.event(model.Event{
-			Kind: model.EventRefused, Customer: k.customer, Pool: k.pool, Limit: k.reason,
+			Kind: model.EventRequestRefused, Customer: k.customer, Pool: k.pool, Limit: k.reason,
 			Detail: fmt.Sprintf("%d requests were refused", n),
 		})
 		delete(d.refusals, k)
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -269,7 +269,7 @@
 	case before.ID != "" && next.MaintainedAt > before.MaintainedAt:
 		return model.EventMaintained
 	}
-	return model.EventInstance
+	return model.EventInstanceStep
 }
 
 // propose replicates the steps as one change and writes an event for each. It
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -48,8 +48,8 @@
 	}
 	for _, i := range c.Delta.Instances {
 		w.planner.SetInstance(i)
-		if i.OutSince != 0 {
-			w.planner.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.OutSince})
+		if i.OutOfServiceSince != 0 {
+			w.planner.SetOutage(maint.Outage{Instance: i.ID, Pool: i.Pool, From: i.OutOfServiceSince})
 		}
 	}
 	for _, o := range c.Outages {
--- a/core/coord/record/record_test.go
+++ b/core/coord/record/record_test.go
@@ -22,7 +22,7 @@
 	for range 8 {
 		wg.Go(func() {
 			for range perGoroutine {
-				r.Record(model.Event{Kind: model.EventRefused})
+				r.Record(model.Event{Kind: model.EventRequestRefused})
 				r.Observe(r.Next())
 			}
 		})
@@ -72,7 +72,7 @@
 	go func() { ran <- r.Run() }()
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Record(model.Event{Kind: model.EventRefused, Customer: "pomar-alto", Limit: "queue full"})
+		r.Record(model.Event{Kind: model.EventRequestRefused, Customer: "pomar-alto", Limit: "queue full"})
 	}
 	r.Stop()
 	<-ran
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -106,7 +106,7 @@
 				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
 				q, reason := s.controller.Queue(c, "p")
 				if reason != ReasonNone {
-					assert.Equal(t, reason, ReasonShare)
+					assert.Equal(t, reason, ReasonNoShare)
 					return
 				}
 				if q.CanRun() && q.Len() == 0 && !s.controller.HasRunnable("p") && s.inFlight() < s.slots {
@@ -276,7 +276,7 @@
 	assert.Equal(t, reason, ReasonNone)
 	assert.DeepEqual(t, controller.RemoveCustomer("a"), []int{7})
 	_, reason = controller.Queue("a", "p")
-	assert.Equal(t, reason, ReasonContract)
+	assert.Equal(t, reason, ReasonNoContract)
 	controller.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
 	assert.Equal(t, controller.Customer("a").Running, 1)
 	controller.RemoveCustomer("a")
--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -13,18 +13,18 @@
 // The reasons for a refusal; ReasonNone for an admitted request.
 const (
 	ReasonNone Reason = iota
-	// ReasonContract: the customer has no contract.
-	ReasonContract
-	// ReasonPool: the contract does not cover the pool.
-	ReasonPool
-	// ReasonShare: this process has no share of the contract's concurrency.
-	ReasonShare
-	// ReasonQueue: the customer's queue is full.
-	ReasonQueue
+	// ReasonNoContract: the customer has no contract.
+	ReasonNoContract
+	// ReasonPoolNotCovered: the contract does not cover the pool.
+	ReasonPoolNotCovered
+	// ReasonNoShare: this process has no share of the contract's concurrency.
+	ReasonNoShare
+	// ReasonQueueFull: the customer's queue is full.
+	ReasonQueueFull
 	// ReasonDeadline: the request is not expected to end before its deadline.
 	ReasonDeadline
-	// ReasonRetry: the customer's retry budget is spent.
-	ReasonRetry
+	// ReasonRetryBudget: the customer's retry budget is spent.
+	ReasonRetryBudget
 )
 
 var reasonNames = [...]string{
@@ -206,14 +206,14 @@
 func (c *Controller[P, R]) Queue(name model.Customer, p model.Pool) (*Queue[R], Reason) {
 	cs := c.customers[name]
 	if cs == nil || cs.removed {
-		return nil, ReasonContract
+		return nil, ReasonNoContract
 	}
 	q := cs.queues[p]
 	if q == nil {
-		return nil, ReasonPool
+		return nil, ReasonPoolNotCovered
 	}
 	if cs.Limit.MaxInFlight == 0 {
-		return nil, ReasonShare
+		return nil, ReasonNoShare
 	}
 	return q, ReasonNone
 }
@@ -267,7 +267,7 @@
 // not expected to end before its deadline, given its estimated wait and run time.
 func (c *Controller[P, R]) Enqueue(now, deadline clock.Millis, q *Queue[R], slots int, ref R) (*Waiter[R], Reason) {
 	if q.Customer.Waiting >= q.Customer.Limit.MaxQueued {
-		return nil, ReasonQueue
+		return nil, ReasonQueueFull
 	}
 	wait := q.EstimateWait(slots)
 	wait += clock.Millis(float64(wait) * waitMargin)
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -81,7 +81,7 @@
 func checkPools(t *rapid.T, before, after model.Table) {
 	assert.Assert(t, after.Version >= before.Version)
 	for _, is := range after.Instances {
-		assert.Assert(t, (is.OutSince != 0) == is.OutOfService(), "%+v", is)
+		assert.Assert(t, (is.OutOfServiceSince != 0) == is.OutOfService(), "%+v", is)
 	}
 	for id, was := range before.Instances {
 		is := after.Instances[id]
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -19,7 +19,7 @@
 		case claim.Token == "" || claim.Key.Key == "":
 			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: model.ClaimUnknown})
 		case !ok:
-			s.Claims.Put(claim.Key, HeldClaim{Token: claim.Token, Owner: c.Process, Incarnation: c.Incarnation}, s.Time)
+			s.Claims.Put(claim.Key, ClaimRecord{Token: claim.Token, Owner: c.Process, Incarnation: c.Incarnation}, s.Time)
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
 		case current.Token == claim.Token && current.State == model.ClaimRunning:
 			r.Claims = append(r.Claims, model.ClaimAnswer{Granted: true})
@@ -43,7 +43,7 @@
 	if !known {
 		return
 	}
-	s.Claims.Each(func(k model.ClaimKey, c HeldClaim, _ clock.Millis) {
+	s.Claims.Each(func(k model.ClaimKey, c ClaimRecord, _ clock.Millis) {
 		if c.Owner == p && c.Incarnation < incarnation && c.State == model.ClaimRunning {
 			c.State = model.ClaimUnknown
 			s.Claims.Update(k, c)
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -52,7 +52,7 @@
 	// MaxResults.
 	Results *ExpiringMap[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
-	Claims *ExpiringMap[model.ClaimKey, HeldClaim]
+	Claims *ExpiringMap[model.ClaimKey, ClaimRecord]
 	// GoneProcesses holds the time at which an entry process was declared gone;
 	// its runs that started before that time have ended. At most
 	// MaxGoneProcesses.
@@ -76,8 +76,8 @@
 	Jobs *jobs.State
 }
 
-// HeldClaim is a claimed idempotency key.
-type HeldClaim struct {
+// ClaimRecord is a claimed idempotency key.
+type ClaimRecord struct {
 	Token string
 	// Owner is the entry process that runs the request, and Incarnation its
 	// incarnation at the time of the claim.
@@ -109,7 +109,7 @@
 		Instances:     map[model.InstanceID]model.Instance{},
 		Maintenance:   map[string]model.Maintenance{},
 		Results:       NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
-		Claims:        NewExpiringMap[model.ClaimKey, HeldClaim](MaxClaims, ClaimLifetime),
+		Claims:        NewExpiringMap[model.ClaimKey, ClaimRecord](MaxClaims, ClaimLifetime),
 		Authors:       map[string]Author{},
 		GoneProcesses: map[model.Process]clock.Millis{},
 		Incarnations:  map[model.Process]uint64{},
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -64,13 +64,13 @@
 	if current.ID == "" || next.Phase != current.Phase {
 		next.PhaseSince = now
 	}
-	next.OutSince = current.OutSince
+	next.OutOfServiceSince = current.OutOfServiceSince
 	switch {
-	case next.OutOfService() && current.OutSince == 0:
-		next.OutSince = now
-	case !next.OutOfService() && current.OutSince != 0:
-		next.OutSince = 0
-		s.Outages = append(s.Outages, model.Outage{Instance: current.ID, Pool: current.Pool, From: current.OutSince, To: now})
+	case next.OutOfService() && current.OutOfServiceSince == 0:
+		next.OutOfServiceSince = now
+	case !next.OutOfService() && current.OutOfServiceSince != 0:
+		next.OutOfServiceSince = 0
+		s.Outages = append(s.Outages, model.Outage{Instance: current.ID, Pool: current.Pool, From: current.OutOfServiceSince, To: now})
 		if over := len(s.Outages) - MaxOutages; over > 0 {
 			s.Outages = s.Outages[over:]
 		}
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -55,7 +55,7 @@
 	stuck := it.inst.Phase == model.PhaseMaintenance && !it.observation.Verified && it.inst.PhaseSince+pl.settings.StuckMillis <= now
 	it.tally = Tally{Instances: 1, Calls: it.observation.Calls, Failures: it.observation.Failures}
 	if stuck || it.observation.LostSince > 0 {
-		it.tally.Failed = 1
+		it.tally.FailedInstances = 1
 	}
 	for _, name := range pl.waveNames {
 		pl.countInWave(it, pl.waves[name], stuck, now)
@@ -179,7 +179,7 @@
 		at(end - pl.settings.MarginMillis)
 		at(pl.settings.PeriodicStart)
 		if i.MaintainedAt > 0 {
-			at(i.MaintainedAt + pl.settings.ObservationMillis)
+			at(i.MaintainedAt + pl.settings.TouchedMillis)
 		}
 	}
 	for _, name := range pl.waveNames {
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -16,9 +16,9 @@
 	// StuckMillis is the time after which an instance that is in maintenance and
 	// not verified counts as failed.
 	StuckMillis clock.Millis
-	// ObservationMillis is how long after its maintenance an instance counts as
+	// TouchedMillis is how long after its maintenance an instance counts as
 	// touched by the periodic wave.
-	ObservationMillis clock.Millis
+	TouchedMillis clock.Millis
 	// PeriodMillis is the time within which every instance is maintained once;
 	// 0 disables periodic maintenance.
 	PeriodMillis clock.Millis
@@ -39,7 +39,7 @@
 func Defaults() Settings {
 	return Settings{
 		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
-		ObservationMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, PacerRetryMillis: clock.Minute,
+		TouchedMillis: clock.Day, PeriodMillis: 49 * clock.Day, MarginMillis: 7 * clock.Day, PacerRetryMillis: clock.Minute,
 	}
 }
 
--- a/core/state/maint/stop_policy.go
+++ b/core/state/maint/stop_policy.go
@@ -9,15 +9,15 @@
 // requests that they ran and Failures the number of those that failed.
 type Tally struct {
 	Instances int64
-	// Failed is the number of instances that are lost or stuck in maintenance.
-	Failed   int64
-	Calls    int64
-	Failures int64
+	// FailedInstances is the number of instances that are lost or stuck in maintenance.
+	FailedInstances int64
+	Calls           int64
+	Failures        int64
 }
 
 func (t *Tally) add(u Tally, sign int64) {
 	t.Instances += sign * u.Instances
-	t.Failed += sign * u.Failed
+	t.FailedInstances += sign * u.FailedInstances
 	t.Calls += sign * u.Calls
 	t.Failures += sign * u.Failures
 }
@@ -53,8 +53,8 @@
 	if peers.Calls > 0 && touched.Failures >= r.MinFailures && failureRate(touched.Failures, touched.Calls) > r.Factor*failureRate(peers.Failures+1, peers.Calls) {
 		return comparison("requests", touched.Failures, touched.Calls, peers.Failures, peers.Calls)
 	}
-	if peers.Instances > 0 && touched.Failed >= 1 && failureRate(touched.Failed, touched.Instances) > r.Factor*failureRate(peers.Failed+1, peers.Instances) {
-		return comparison("instances", touched.Failed, touched.Instances, peers.Failed, peers.Instances)
+	if peers.Instances > 0 && touched.FailedInstances >= 1 && failureRate(touched.FailedInstances, touched.Instances) > r.Factor*failureRate(peers.FailedInstances+1, peers.Instances) {
+		return comparison("instances", touched.FailedInstances, touched.Instances, peers.FailedInstances, peers.Instances)
 	}
 	return ""
 }
@@ -77,8 +77,8 @@
 	if touched.Failures >= z.MinFailures && zScore(touched.Failures, touched.Calls, peers.Failures, peers.Calls) > z.Z {
 		return comparison("requests", touched.Failures, touched.Calls, peers.Failures, peers.Calls)
 	}
-	if zScore(touched.Failed, touched.Instances, peers.Failed, peers.Instances) > z.Z {
-		return comparison("instances", touched.Failed, touched.Instances, peers.Failed, peers.Instances)
+	if zScore(touched.FailedInstances, touched.Instances, peers.FailedInstances, peers.Instances) > z.Z {
+		return comparison("instances", touched.FailedInstances, touched.Instances, peers.FailedInstances, peers.Instances)
 	}
 	return ""
 }
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -83,13 +83,13 @@
 }
 
 // maintained reports whether the wave maintained the instance: since the
-// declaration, and for the periodic wave within the last ObservationMillis.
+// declaration, and for the periodic wave within the last TouchedMillis.
 func (w *wave) maintained(s Settings, i model.Instance, now clock.Millis) bool {
 	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.DeclaredAt {
 		return false
 	}
 	if w.periodic() {
-		return i.MaintainedAt+s.ObservationMillis > now
+		return i.MaintainedAt+s.TouchedMillis > now
 	}
 	return w.decl.Selector.Matches(i)
 }
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -154,9 +154,9 @@
 	// LostSince is the time since which no entry process has received announcements
 	// of the instance, without a planned reason; 0 if it is not lost.
 	LostSince clock.Millis
-	// OutSince is the time since which the instance has been out of service,
+	// OutOfServiceSince is the time since which the instance has been out of service,
 	// planned or unplanned; 0 while it is in service.
-	OutSince clock.Millis
+	OutOfServiceSince clock.Millis
 	// PhaseSince is the time at which the phase was entered, by the leader's clock.
 	PhaseSince clock.Millis
 	Version    Version
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -80,7 +80,7 @@
 	d := min(ejectBase<<min(u.ConsecutiveEjections, 10), ejectMax)
 	u.ConsecutiveEjections++
 	u.EjectedUntil = now + d
-	u.RoutableSince = u.EjectedUntil
+	u.SlowStartFrom = u.EjectedUntil
 	u.ScoreResetPending = true
 	if !slices.Contains(r.ejectionsToReport, u) {
 		r.ejectionsToReport = append(r.ejectionsToReport, u)
@@ -107,6 +107,6 @@
 		if next == nil || inService >= (len(pu.members)+1)/2 {
 			return
 		}
-		next.EjectedUntil, next.RoutableSince = now, now
+		next.EjectedUntil, next.SlowStartFrom = now, now
 	}
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -106,7 +106,7 @@
 	u := r.upstream(a.Instance)
 	if a.Incarnation != u.announcement.Incarnation {
 		// A new process starts with a cleared failure score and a slow start.
-		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.RoutableSince = 0, 0, 0, false, now
+		u.Score, u.EjectedUntil, u.ConsecutiveEjections, u.ScoreResetPending, u.SlowStartFrom = 0, 0, 0, false, now
 	}
 	u.announcement, u.leaseHeld = a, live
 	r.update(now, u)
@@ -147,7 +147,7 @@
 		r.removeFromPool(now, u)
 		u.Pool = pool
 		if pool != "" {
-			u.RoutableSince = now
+			u.SlowStartFrom = now
 			pu := r.poolOf(pool)
 			pu.members = append(pu.members, u)
 			pu.restoreMinimum(now)
@@ -269,7 +269,7 @@
 // limits no upstream.
 func (pu *poolUpstreams) hasWarmUpstream(now clock.Millis) bool {
 	for _, u := range pu.members {
-		if now-u.RoutableSince >= SlowStart && !u.Ejected(now) {
+		if now-u.SlowStartFrom >= SlowStart && !u.Ejected(now) {
 			return true
 		}
 	}
@@ -285,7 +285,7 @@
 	if r.LoansUncertain {
 		slots = u.Slots - max(u.Lendable, u.Lent)
 	}
-	age := max(now-u.RoutableSince, 0)
+	age := max(now-u.SlowStartFrom, 0)
 	if !warm || age >= SlowStart || slots <= 0 {
 		return max(slots, 0)
 	}
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -59,9 +59,9 @@
 	// BlockedRelease is the table version of the earliest release that cannot be
 	// confirmed yet because OldRunning or Lent is above 0; 0 if both are 0.
 	BlockedRelease model.Version
-	// RoutableSince is the time from which slow start is counted: when the upstream
+	// SlowStartFrom is the time from which slow start is counted: when the upstream
 	// became routable, when its process restarted, or when its last ejection ends.
-	RoutableSince clock.Millis
+	SlowStartFrom clock.Millis
 	// Score is the smoothed failure rate, from 0 to 1.
 	Score float64
 	// EjectedUntil is the end of the last ejection; in the future while the
--- a/core/state/trail/explain_test.go
+++ b/core/state/trail/explain_test.go
@@ -47,12 +47,12 @@
 	}
 	return trail.Merge([]model.Event{
 		at(91_999, model.Event{Kind: model.EventEjected, Instance: "i4", Limit: "failures"}),
-		at(95_000, model.Event{Kind: model.EventRefused, Customer: "pomar", Request: "r1", Limit: "queue full", Detail: "first"}),
-		at(96_000, model.Event{Kind: model.EventRefused, Customer: "pomar", Request: "r2", Limit: "queue full", Detail: "second"}),
-		at(97_000, model.Event{Kind: model.EventUnknown, Customer: "pomar", Request: "r3", Instance: "i4"}),
+		at(95_000, model.Event{Kind: model.EventRequestRefused, Customer: "pomar", Request: "r1", Limit: "queue full", Detail: "first"}),
+		at(96_000, model.Event{Kind: model.EventRequestRefused, Customer: "pomar", Request: "r2", Limit: "queue full", Detail: "second"}),
+		at(97_000, model.Event{Kind: model.EventOutcomeUnknown, Customer: "pomar", Request: "r3", Instance: "i4"}),
 		at(98_000, model.Event{Kind: model.EventEjected, Instance: "i4", Limit: "failures"}),
-		at(50_000, model.Event{Kind: model.EventUpstreamUp, Instance: "i4"}),
-		at(98_500, model.Event{Kind: model.EventRefused, Customer: "other", Limit: "unheard of"}),
+		at(50_000, model.Event{Kind: model.EventUpstreamAnnounced, Instance: "i4"}),
+		at(98_500, model.Event{Kind: model.EventRequestRefused, Customer: "other", Limit: "unheard of"}),
 	})
 }
 
@@ -64,7 +64,7 @@
 	assert.DeepEqual(t, x.Pools, []trail.PoolState{{Pool: "log", Promised: 4, Serving: 2, Releasing: 1, Maintenance: 1}})
 	assert.Equal(t, len(x.Events), 3)
 	assert.DeepEqual(t, x.LimitHits, []trail.LimitHit{{
-		Limit: "queue full", Kind: model.EventRefused, Count: 2, Detail: "second",
+		Limit: "queue full", Kind: model.EventRequestRefused, Count: 2, Detail: "second",
 		First: model.Stamp{Wall: 95_000}, Last: model.Stamp{Wall: 96_000},
 		Advice: trail.Advice{Action: trail.ActionRaiseLimit, Target: "queue"},
 	}})
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -59,7 +59,7 @@
 	var m Measures
 	for i, e := range events {
 		switch e.Kind {
-		case model.EventChange:
+		case model.EventChangeApplied:
 			if e.Customer != "" {
 				m.Rollouts = append(m.Rollouts, measureRollout(state, e, events[i:]))
 			}
@@ -86,7 +86,7 @@
 		missing[p.Name] = true
 	}
 	for _, e := range after {
-		if e.Kind == model.EventTable && e.Version >= change.Version && missing[e.Process] {
+		if e.Kind == model.EventTableInForce && e.Version >= change.Version && missing[e.Process] {
 			delete(missing, e.Process)
 			r.Elapsed = max(r.Elapsed, e.Stamp.Wall-change.Stamp.Wall)
 		}
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -26,8 +26,8 @@
 		Maintenance: map[string]model.Maintenance{"w": {Name: "w", DeclaredAt: 3000, Selector: model.Selector{Pool: "merge"}}},
 	}
 	m := Measure(state, []model.Event{
-		at(100, "c1", model.EventChange, 5), at(130, "e1", model.EventTable, 5), at(150, "e2", model.EventTable, 6),
-		at(200, "c1", model.EventMoved, 7), at(300, "c1", model.EventChange, 8), at(310, "e1", model.EventTable, 8),
+		at(100, "c1", model.EventChangeApplied, 5), at(130, "e1", model.EventTableInForce, 5), at(150, "e2", model.EventTableInForce, 6),
+		at(200, "c1", model.EventMoved, 7), at(300, "c1", model.EventChangeApplied, 8), at(310, "e1", model.EventTableInForce, 8),
 		at(400, "c1", model.EventMaintained, 9),
 	})
 	assert.DeepEqual(t, m, Measures{
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -155,7 +155,7 @@
 	latest := map[model.InstanceID]model.Event{}
 	for _, e := range events {
 		switch e.Kind {
-		case model.EventUpstreamUp, model.EventUpstreamGone, model.EventUpstreamLeft,
+		case model.EventUpstreamAnnounced, model.EventUpstreamGone, model.EventUpstreamLeaving,
 			model.EventEjected, model.EventRestored:
 			latest[e.Instance] = e
 		}
@@ -190,7 +190,7 @@
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionRepairUpstream, i.ID),
 			})
 		}
-		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeft) {
+		if ok && (e.Kind == model.EventUpstreamGone || e.Kind == model.EventUpstreamLeaving) {
 			obstacles = append(obstacles, Obstacle{
 				Kind: ObstacleNotAnnounced, Instance: i.ID, Pool: i.Pool, Process: e.Process,
 				Since: e.Stamp.Wall, Advice: instanceAdvice(ActionStartUpstream, i.ID),
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -90,7 +90,7 @@
 		MaintainedMs: int64(i.MaintainedAt),
 		Incarnation:  i.Incarnation,
 		LostMs:       int64(i.LostSince),
-		OutMs:        int64(i.OutSince),
+		OutMs:        int64(i.OutOfServiceSince),
 		SinceMs:      int64(i.PhaseSince),
 		Version:      uint64(i.Version),
 	}
@@ -108,21 +108,21 @@
 		return model.Instance{}, err
 	}
 	return model.Instance{
-		ID:           model.InstanceID(w.GetId()),
-		Zone:         model.Zone(w.GetZone()),
-		Rack:         model.Rack(w.GetRack()),
-		Pool:         model.Pool(w.GetPool()),
-		Target:       model.Pool(w.GetTarget()),
-		Phase:        phase,
-		Slots:        int(w.GetSlots()),
-		Connections:  int(w.GetConnections()),
-		Reason:       w.GetReason(),
-		MaintainedAt: clock.Millis(w.GetMaintainedMs()),
-		Incarnation:  w.GetIncarnation(),
-		LostSince:    clock.Millis(w.GetLostMs()),
-		OutSince:     clock.Millis(w.GetOutMs()),
-		PhaseSince:   clock.Millis(w.GetSinceMs()),
-		Version:      model.Version(w.GetVersion()),
+		ID:                model.InstanceID(w.GetId()),
+		Zone:              model.Zone(w.GetZone()),
+		Rack:              model.Rack(w.GetRack()),
+		Pool:              model.Pool(w.GetPool()),
+		Target:            model.Pool(w.GetTarget()),
+		Phase:             phase,
+		Slots:             int(w.GetSlots()),
+		Connections:       int(w.GetConnections()),
+		Reason:            w.GetReason(),
+		MaintainedAt:      clock.Millis(w.GetMaintainedMs()),
+		Incarnation:       w.GetIncarnation(),
+		LostSince:         clock.Millis(w.GetLostMs()),
+		OutOfServiceSince: clock.Millis(w.GetOutMs()),
+		PhaseSince:        clock.Millis(w.GetSinceMs()),
+		Version:           model.Version(w.GetVersion()),
 	}, nil
 }
 
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -36,7 +36,7 @@
 	s.Results.Each(func(k model.RequestID, r model.Result, t clock.Millis) {
 		w.Results = append(w.Results, &wirepb.RememberedResult{Request: validUTF8(k), Result: ResultToWire(r), TimeMs: int64(t)})
 	})
-	s.Claims.Each(func(k model.ClaimKey, c fleet.HeldClaim, t clock.Millis) {
+	s.Claims.Each(func(k model.ClaimKey, c fleet.ClaimRecord, t clock.Millis) {
 		w.Claims = append(w.Claims, &wirepb.RememberedClaim{
 			Key:    ClaimKeyToWire(k),
 			Token:  validUTF8(c.Token),
@@ -205,7 +205,7 @@
 			return stateError(KindRange, "a claim with time %d ms follows one with time %d ms", t, lastTime)
 		}
 		lastTime = t
-		s.Claims.Put(k, fleet.HeldClaim{
+		s.Claims.Put(k, fleet.ClaimRecord{
 			Token: m.GetToken(), Owner: model.Process(m.GetOwner()), Incarnation: m.GetRun(),
 			State: state, Status: int(m.GetStatus()),
 		}, t)
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -39,7 +39,7 @@
 	}
 	for n := range rapid.IntRange(0, 5).Draw(t, "remembered") {
 		s.Results.Put(model.RequestID(fmt.Sprint("r", n%3)), anyResult(t), clock.Millis(n))
-		s.Claims.Put(anyClaimKey(t), fleet.HeldClaim{Token: "t", State: model.ClaimDone, Status: 200 + n}, clock.Millis(n))
+		s.Claims.Put(anyClaimKey(t), fleet.ClaimRecord{Token: "t", State: model.ClaimDone, Status: 200 + n}, clock.Millis(n))
 	}
 	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
 	s.Authors["contract x"] = fleet.Author{Name: "ana", Version: 7}
--- a/io/proto/report/page.go
+++ b/io/proto/report/page.go
@@ -45,9 +45,9 @@
 // or bad.
 func severity(k model.EventKind) string {
 	switch k {
-	case model.EventRefused, model.EventUnknown, model.EventEjected, model.EventUpstreamGone:
+	case model.EventRequestRefused, model.EventOutcomeUnknown, model.EventEjected, model.EventUpstreamGone:
 		return "bad"
-	case model.EventConflict, model.EventUpstreamLeft, model.EventWait, model.EventStop, model.EventWave:
+	case model.EventChangeRefused, model.EventUpstreamLeaving, model.EventWait, model.EventStop, model.EventWave:
 		return "watch"
 	default:
 		return "calm"
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -63,10 +63,10 @@
 	}
 	return trail.Merge([]model.Event{
 		at(1, "e1", model.Event{Kind: model.EventStart}),
-		at(900, "c1", model.Event{Kind: model.EventChange, Version: 118, Detail: "contract <pomar-alto> & co"}),
-		at(905, "e1", model.Event{Kind: model.EventTable, Version: 118}),
-		at(30_000, "e2", model.Event{Kind: model.EventRefused, Customer: "pomar-alto", Pool: "fees", Request: "r-1", Limit: "queue full", Detail: "</td><script>alert(1)</script>"}),
-		at(30_001, "e2", model.Event{Kind: model.EventUpstreamLeft, Instance: "i2", Pool: "log"}),
+		at(900, "c1", model.Event{Kind: model.EventChangeApplied, Version: 118, Detail: "contract <pomar-alto> & co"}),
+		at(905, "e1", model.Event{Kind: model.EventTableInForce, Version: 118}),
+		at(30_000, "e2", model.Event{Kind: model.EventRequestRefused, Customer: "pomar-alto", Pool: "fees", Request: "r-1", Limit: "queue full", Detail: "</td><script>alert(1)</script>"}),
+		at(30_001, "e2", model.Event{Kind: model.EventUpstreamLeaving, Instance: "i2", Pool: "log"}),
 		at(59_000, "a-process-with-a-very-long-name", model.Event{Kind: "kind\"><b>", Detail: "tab\tand\x1b[0m"}),
 	})
 }
@@ -184,7 +184,7 @@
 	for i := range 25_000 {
 		many = append(many, model.Event{
 			Stamp: model.Stamp{Wall: start + clock.Millis(i*7)}, Process: model.Process(fmt.Sprintf("e%02d", i%20)),
-			Seq: uint64(i), Kind: model.EventRefused, Customer: "pomar-alto", Request: fmt.Sprintf("r-%d", i), Limit: "queue full",
+			Seq: uint64(i), Kind: model.EventRequestRefused, Customer: "pomar-alto", Request: fmt.Sprintf("r-%d", i), Limit: "queue full",
 		})
 	}
 	var b bytes.Buffer
--- a/io/trans/logs/logs_test.go
+++ b/io/trans/logs/logs_test.go
@@ -22,9 +22,9 @@
 	l.Debug("not shown")
 	l.Warn("ring full", "refused", 12, "ring", "asks")
 	logs.Event(l, model.Event{Kind: model.EventEjected, Instance: "i1", Pool: "log", Limit: "failures", Detail: "a\nb \x1b[31m"})
-	logs.Event(l, model.Event{Kind: model.EventRefused, Customer: "pomar-alto"})
-	logs.Event(l, model.Event{Kind: model.EventTable, Version: 3})
-	logs.Event(l, model.Event{Kind: model.EventInstance, Instance: "i1", Version: 3})
+	logs.Event(l, model.Event{Kind: model.EventRequestRefused, Customer: "pomar-alto"})
+	logs.Event(l, model.Event{Kind: model.EventTableInForce, Version: 3})
+	logs.Event(l, model.Event{Kind: model.EventInstanceStep, Instance: "i1", Version: 3})
 	golden.Assert(t, b.String(), "lines.txt")
 }
 
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -172,14 +172,14 @@
 		return
 	}
 	e := model.Event{
-		Kind: model.EventChange, Customer: c.Contract.Customer, Request: string(c.Request),
+		Kind: model.EventChangeApplied, Customer: c.Contract.Customer, Request: string(c.Request),
 		Version: r.Version, Detail: c.Author,
 	}
 	if e.Customer == "" {
 		e.Customer = c.Customer
 	}
 	if r.Kind != model.ResultApplied {
-		e.Kind = model.EventConflict
+		e.Kind = model.EventChangeRefused
 		e.Detail = c.Author + ": " + r.Reason
 	}
 	s.Record(e)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	if d.To > e.poller.Version() {
-		e.record(model.Event{Kind: model.EventTable, Version: d.To})
+		e.record(model.Event{Kind: model.EventTableInForce, Version: d.To})
 	}
 	return nil
 }
