--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -11,28 +11,29 @@
 
 // BenchmarkWave reports for each pacer the cost of a wave over a whole fleet of 50
 // instances: roll-out time, instance-minutes out of service, the excess of unserved
-// requests in load peaks over those of a complete fleet, releases taken back, missed deadlines and limit violations. The
-// first four are means over 10 seeds, the others totals.
+// requests in load peaks over those of a complete fleet, releases taken back,
+// missed deadlines and limit violations. The first four are means over 10 seeds,
+// the last two totals.
 func BenchmarkWave(b *testing.B) {
 	for _, u := range []struct {
-		name   string
-		covers model.FailureDomain
-		most   int
+		name           string
+		covers         model.FailureDomain
+		maxUnavailable int
 	}{{"pruefkette", model.DomainRack, 4}, {"pomar-alto", model.DomainZone, 3}} {
-		benchWave(b, u.name+"/full-speed", FullSpeedPacer{}, u.covers, u.most)
-		benchWave(b, u.name+"/proportional", ProportionalPacer{HaltPermille: 60}, u.covers, u.most)
-		benchWave(b, u.name+"/deadline", DeadlinePacer{SlowPermille: 60, HaltPermille: 200}, u.covers, u.most)
+		benchWave(b, u.name+"/full-speed", FullSpeedPacer{}, u.covers, u.maxUnavailable)
+		benchWave(b, u.name+"/proportional", ProportionalPacer{HaltPermille: 60}, u.covers, u.maxUnavailable)
+		benchWave(b, u.name+"/deadline", DeadlinePacer{SlowPermille: 60, HaltPermille: 200}, u.covers, u.maxUnavailable)
 	}
 }
 
-func benchWave[P Pacer](b *testing.B, name string, p P, covers model.FailureDomain, most int) {
+func benchWave[P Pacer](b *testing.B, name string, p P, covers model.FailureDomain, maxUnavailable int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 10
 		var minutes, outMinutes, excess, violations, missed, takenBack float64
 		for b.Loop() {
 			minutes, outMinutes, excess, violations, missed, takenBack = 0, 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
-				f := newFakeFleet(seed, 50, 3, 5, 5, covers, most)
+				f := newFakeFleet(seed, 50, 3, 5, 5, covers, maxUnavailable)
 				f.peakShift = clock.Millis(seed) * 12 * clock.Minute
 				m := f.declare(8 * clock.Hour)
 				planner := NewPlanner(p, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod())
@@ -74,8 +75,8 @@
 // with load peaks alternate with quiet hours, shifted by peakShift. In an hour with
 // peaks, half of the minutes have a peak that exceeds the capacity of the pool: the
 // share is 20 permille with a complete fleet and 25 permille more for each instance
-// out of service. The planner gets a moving average over about four minutes, because peaks
-// are shorter than a maintenance.
+// out of service. The planner gets a moving average over about four minutes, because
+// peaks are shorter than a maintenance.
 func (f *fakeFleet) setPeakUnserved() peakSample {
 	n := 0
 	for id, i := range f.instances {
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -44,8 +44,8 @@
 	it.peerIn, it.observedIn = it.peerIn[:0], it.observedIn[:0]
 }
 
-// count adds the item to all counts, evaluated at now, and sets a timer for the
-// next time at which its counts change without an input.
+// count adds the item to all counts as of now and sets a timer for the next time
+// at which they change without an input.
 func (pl *Planner[P, S]) count(it *item, now clock.Millis) {
 	if it.counted || it.inst.Phase == model.PhaseRetired {
 		return
@@ -65,7 +65,7 @@
 		pl.countInProgress(it)
 	case it.wave != nil && it.inst.Phase == model.PhaseServing:
 		pl.dueQueue(it.inst.Pool).add(it)
-		pl.changedPools[it.inst.Pool] = true
+		pl.poolsToCheck[it.inst.Pool] = true
 	}
 	pl.setItemTimer(it, pl.nextChange(it, now))
 }
@@ -154,36 +154,36 @@
 // markWave marks the pools with pending instances of the wave for evaluation.
 func (pl *Planner[P, S]) markWave(w *wave) {
 	for p := range w.byPool {
-		pl.changedPools[p] = true
+		pl.poolsToCheck[p] = true
 	}
 }
 
 // nextChange returns the earliest time after now at which count would count the
-// item differently without an input; 0 for never.
+// item differently even if no input changes; 0 for never.
 func (pl *Planner[P, S]) nextChange(it *item, now clock.Millis) clock.Millis {
 	next := clock.Millis(0)
-	at := func(t clock.Millis) {
+	consider := func(t clock.Millis) {
 		if t > now && (next == 0 || t < next) {
 			next = t
 		}
 	}
 	i := it.inst
 	if i.Phase == model.PhaseMaintenance && !it.observation.Verified {
-		at(i.PhaseSince + pl.settings.StuckMillis)
+		consider(i.PhaseSince + pl.settings.StuckMillis)
 	}
 	if i.MaintainedAt > 0 {
-		at(i.MaintainedAt + pl.settings.CanaryMillis)
+		consider(i.MaintainedAt + pl.settings.CanaryMillis)
 	}
 	if pl.settings.PeriodMillis > 0 {
 		end := pl.settings.periodEnd(i)
-		at(end - pl.settings.MarginMillis)
-		at(pl.settings.PeriodicStart)
+		consider(end - pl.settings.MarginMillis)
+		consider(pl.settings.PeriodicStart)
 		if i.MaintainedAt > 0 {
-			at(i.MaintainedAt + pl.settings.TouchedMillis)
+			consider(i.MaintainedAt + pl.settings.TouchedMillis)
 		}
 	}
 	for _, name := range pl.waveNames {
-		at(pl.waves[name].decl.DeclaredAt)
+		consider(pl.waves[name].decl.DeclaredAt)
 	}
 	return next
 }
@@ -221,7 +221,7 @@
 				pl.uncount(it)
 			}
 		case t.pool != "":
-			pl.changedPools[model.Pool(t.pool)] = true
+			pl.poolsToCheck[model.Pool(t.pool)] = true
 			delete(pl.timerByKey, "pool "+t.pool)
 		default:
 			pl.wavesToCheck[t.wave] = true
@@ -243,7 +243,7 @@
 		pl.uncount(it)
 	}
 	for p := range pl.itemsByPool {
-		pl.changedPools[p] = true
+		pl.poolsToCheck[p] = true
 	}
 	pl.checkAllWaves()
 }
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -27,7 +27,8 @@
 	// current pass.
 	byCause [causeCount]int
 	total   int
-	// tentativeReleases is the number of releases decided in the current pass.
+	// tentativeReleases is the number of the customer's releases decided in the
+	// current pass.
 	tentativeReleases int
 	// usedMillis caches the window sum computed at time usedAt; usedAt is -1
 	// while the cache is invalid.
@@ -138,6 +139,8 @@
 		for _, u := range cs.unavailable {
 			past := now - max(u.from, start)
 			if u.cause == causeLoss {
+				// The end of a loss is unknown: assume that the instance stays out
+				// of service for another duration.
 				cs.usedMillis += past + duration
 				continue
 			}
@@ -149,8 +152,9 @@
 
 // windowFreeAt returns the earliest time at which finished outages totalling
 // need have left the budget window, or 0 if the finished outages total less
-// than need. Concurrent outages leave the window concurrently, so the time is
-// found by binary search.
+// than need. Outages that overlap leave the window together, so the time cannot
+// be found by adding up one outage after the other. The freed time never
+// decreases, so a binary search finds it.
 func (cs *customerState) windowFreeAt(now, need clock.Millis, finished func(model.Pool) []Outage) clock.Millis {
 	start := now - cs.contract.WindowMillis
 	freed := func(by clock.Millis) clock.Millis {
--- a/core/state/maint/deadline_check.go
+++ b/core/state/maint/deadline_check.go
@@ -8,8 +8,8 @@
 	"camphorridge/core/state/model"
 )
 
-// checkDeadlines checks the deadlines of the waves marked for a check and adds
-// to the plan every deadline that cannot be met.
+// checkDeadlines checks the deadlines of the waves in wavesToCheck. It adds to the
+// plan every deadline that cannot be met, also those found by earlier checks.
 func (pl *Planner[P, S]) checkDeadlines(now clock.Millis, plan *Plan) {
 	for _, name := range pl.waveNames {
 		w := pl.waves[name]
@@ -33,9 +33,11 @@
 }
 
 // checkWave estimates for each customer when the wave will be done and returns
-// the time of the next check, or 0 if none is needed. Checks are frequent enough to notice a change, and
-// one always takes place at the last time at which maintenance can start and
-// still meet the deadline.
+// the time of the next check, or 0 if none is needed. To notice a change early
+// enough, the next check follows after an eighth of the time left, but not before
+// one maintenance could have ended. One check always takes place at the last time
+// at which maintenance can start and still meet the deadline; from then on they
+// follow every quarter of a maintenance.
 func (pl *Planner[P, S]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
@@ -58,7 +60,7 @@
 	if last := w.decl.Deadline - pl.settings.MaintenanceMillis; uncovered > 0 && now > last {
 		w.unmet = append(w.unmet, UnmetDeadline{
 			Wave: w.decl.Name, Remaining: uncovered, Deadline: w.decl.Deadline, Estimate: now + pl.settings.MaintenanceMillis,
-			Reason: "instances of pools without a contract are left",
+			Reason: "instances of pools without a contract still have to be maintained",
 		})
 	}
 	last := w.decl.Deadline - pl.settings.MaintenanceMillis
@@ -122,29 +124,32 @@
 	return b, total
 }
 
+// checkCustomer adds an unmet deadline to the wave if the customer's instances are
+// not expected to be done by its deadline.
 func (pl *Planner[P, S]) checkCustomer(w *wave, cs *customerState, now clock.Millis) {
 	b, total := pl.backlogOf(w, cs, now)
 	if total == 0 {
 		return
 	}
-	late := UnmetDeadline{Wave: w.decl.Name, Customer: cs.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
-	late.Estimate, late.Reason = pl.estimate(w, cs, b, now)
-	if late.Estimate == 0 || late.Estimate > w.decl.Deadline {
-		w.unmet = append(w.unmet, late)
+	unmet := UnmetDeadline{Wave: w.decl.Name, Customer: cs.contract.Customer, Remaining: total, Deadline: w.decl.Deadline}
+	unmet.Estimate, unmet.Reason = pl.estimate(w, cs, b, now)
+	if unmet.Estimate == 0 || unmet.Estimate > w.decl.Deadline {
+		w.unmet = append(w.unmet, unmet)
 	}
 }
 
-// estimate returns the time at which the customer's instances will be done, one
-// domain after the other, and the limit that determines it; 0 for never. It
-// assumes that each maintenance takes MaintenanceMillis, the longest allowed
-// time, so the estimate does not move back while maintenance goes as planned.
+// estimate returns the time at which the last of the customer's instances will be
+// done, or 0 for never, and a text that describes what determines this time. It
+// assumes that the domains are maintained one after the other and that each
+// maintenance takes MaintenanceMillis, the longest expected time, so that the
+// estimate does not become later while maintenance goes as planned.
 func (pl *Planner[P, S]) estimate(w *wave, cs *customerState, b backlog, now clock.Millis) (clock.Millis, string) {
 	remaining := 0
 	for _, n := range b.waiting {
 		remaining += n
 	}
 	if remaining == 0 {
-		return slices.Max(append(b.expectedEnds, now)), "in maintenance and not back in time"
+		return slices.Max(append(b.expectedEnds, now)), "the instances in maintenance are not expected back in time"
 	}
 	lost := cs.byCause[causeLoss]
 	maxConcurrent := cs.contract.MaxUnavailable - lost
@@ -152,9 +157,9 @@
 		maxConcurrent = min(maxConcurrent, 1)
 	}
 	if maxConcurrent <= 0 {
-		return 0, fmt.Sprintf("max-unavailable %d with %d unplanned losses", cs.contract.MaxUnavailable, lost)
+		return 0, fmt.Sprintf("max-unavailable is %d and %d instances are lost", cs.contract.MaxUnavailable, lost)
 	}
-	end := pl.finishBusy(b, pl.canaryDone(w, b, now), maxConcurrent)
+	end := pl.busyDomainEnd(b, pl.canaryDone(w, b, now), maxConcurrent)
 	rounds := 0
 	for domain, n := range b.waiting {
 		if len(b.expectedEnds) == 0 || domain != b.busyDomain {
@@ -168,19 +173,19 @@
 	}
 	perWindow := int(cs.contract.BudgetMillis / pl.settings.MaintenanceMillis)
 	if perWindow == 0 {
-		return 0, fmt.Sprintf("a window budget of %d ms holds no maintenance of %d ms", cs.contract.BudgetMillis, pl.settings.MaintenanceMillis)
+		return 0, fmt.Sprintf("the window budget of %d ms is shorter than one maintenance of %d ms", cs.contract.BudgetMillis, pl.settings.MaintenanceMillis)
 	}
 	free := max(0, int((cs.contract.BudgetMillis-cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages))/pl.settings.MaintenanceMillis))
 	if remaining > free {
 		windows := (remaining - free + perWindow - 1) / perWindow
 		end = max(end, now+clock.Millis(windows)*cs.contract.WindowMillis+pl.settings.MaintenanceMillis)
-		reason = fmt.Sprintf("%d instances at %d for each window of %d ms", remaining, perWindow, cs.contract.WindowMillis)
+		reason = fmt.Sprintf("%d instances, of which the budget allows %d in each window of %d ms", remaining, perWindow, cs.contract.WindowMillis)
 	}
 	return end, reason
 }
 
-// canaryDone returns the time from which instances other than the canary may
-// start.
+// canaryDone returns the time from which maintenance of instances other than the
+// canary may start.
 func (pl *Planner[P, S]) canaryDone(w *wave, b backlog, now clock.Millis) clock.Millis {
 	switch {
 	case w.observedCount > 0:
@@ -194,11 +199,10 @@
 	}
 }
 
-// finishBusy returns the time at which the domain with maintenance in progress
-// is done, with at most maxConcurrent concurrent maintenances. Each one that ends
-// is followed by the next waiting instance of the domain, but not before
-// canaryDone.
-func (pl *Planner[P, S]) finishBusy(b backlog, canaryDone clock.Millis, maxConcurrent int) clock.Millis {
+// busyDomainEnd returns the time at which the domain with maintenance in progress
+// is done, with at most maxConcurrent concurrent maintenances. When one ends, that
+// of the next waiting instance of the domain starts, but not before canaryDone.
+func (pl *Planner[P, S]) busyDomainEnd(b backlog, canaryDone clock.Millis, maxConcurrent int) clock.Millis {
 	if len(b.expectedEnds) == 0 {
 		return canaryDone
 	}
@@ -214,13 +218,13 @@
 	return max(canaryDone, ends[len(ends)-1])
 }
 
-// checkPeriod records, by pool, the instances that the periodic wave can no
+// checkPeriod records for each pool how many instances the periodic wave can no
 // longer maintain in time, and returns the time of the next check.
 func (pl *Planner[P, S]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	next := now + max(pl.settings.MarginMillis/2, pl.settings.MaintenanceMillis)
 	for _, p := range sortedKeys(pl.dueByPool) {
-		late := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
+		unmet := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
 		for _, r := range pl.dueByPool[p].racks {
 			for _, it := range r.items {
 				last := it.deadline - pl.settings.MaintenanceMillis
@@ -229,14 +233,14 @@
 				case now < last:
 					next = min(next, last)
 				default:
-					late.Remaining++
-					late.Deadline = it.deadline
+					unmet.Remaining++
+					unmet.Deadline = it.deadline
 					next = min(next, now+pl.settings.MaintenanceMillis)
 				}
 			}
 		}
-		if late.Remaining > 0 {
-			w.unmet = append(w.unmet, late)
+		if unmet.Remaining > 0 {
+			w.unmet = append(w.unmet, unmet)
 		}
 	}
 	return next
--- a/core/state/maint/due_queue.go
+++ b/core/state/maint/due_queue.go
@@ -21,8 +21,8 @@
 	items []*item
 }
 
-// find returns the index of the instance's rack in racks, or the index at which
-// to insert it.
+// find returns the index of the instance's rack in racks. If ok is false, the rack
+// is missing and the index is the one at which to insert it.
 func (q *dueQueue) find(i model.Instance) (at int, ok bool) {
 	return slices.BinarySearchFunc(q.racks, i, func(r *rackQueue, i model.Instance) int {
 		if c := strings.Compare(string(r.zone), string(i.Zone)); c != 0 {
@@ -76,9 +76,9 @@
 	return best
 }
 
-// racksByDeadline returns the racks sorted by their earliest deadline, then by
-// zone and rack, so that racks with the same deadline are processed one after
-// the other, zone by zone.
+// racksByDeadline returns the racks in the order of their earliest deadlines.
+// Racks with equal deadlines are sorted by zone, then by rack, so that all racks
+// of one zone come before those of the next.
 func (q *dueQueue) racksByDeadline() []*rackQueue {
 	out := slices.Clone(q.racks)
 	slices.SortStableFunc(out, func(a, b *rackQueue) int {
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -35,7 +35,7 @@
 	firstUnmet map[string]clock.Millis
 }
 
-func newFakeFleet(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, most int) *fakeFleet {
+func newFakeFleet(seed uint64, n, zones, pools, perContract int, covers model.FailureDomain, maxUnavailable int) *fakeFleet {
 	f := &fakeFleet{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: clock.Day, instances: map[model.InstanceID]model.Instance{},
 		observations: map[model.InstanceID]Observation{}, nextEvent: map[model.InstanceID]clock.Millis{},
@@ -52,7 +52,7 @@
 		f.observations[id] = Observation{Calls: 200, Failures: int64(f.rnd.IntN(2))}
 	}
 	for k := 0; k < pools; k += perContract {
-		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%02d", k)), Covers: covers, MaxUnavailable: most}
+		c := model.Contract{Customer: model.Customer(fmt.Sprintf("c%02d", k)), Covers: covers, MaxUnavailable: maxUnavailable}
 		for p := k; p < min(k+perContract, pools); p++ {
 			c.Pools = append(c.Pools, model.PoolShare{Pool: model.Pool(fmt.Sprintf("p%02d", p)), Instances: max(1, n/pools-1)})
 		}
@@ -102,11 +102,11 @@
 	}
 }
 
-func (f *fakeFleet) open(id model.InstanceID) {
+func (f *fakeFleet) openOutage(id model.InstanceID) {
 	f.outages = append(f.outages, Outage{Instance: id, Pool: f.instances[id].Pool, From: f.now})
 }
 
-func (f *fakeFleet) close(id model.InstanceID) {
+func (f *fakeFleet) closeOutage(id model.InstanceID) {
 	for k, o := range f.outages {
 		if o.Instance == id && o.To == 0 {
 			f.outages[k].To = f.now
@@ -116,33 +116,33 @@
 
 // carryOut carries out one step, like the component that executes plans.
 func (f *fakeFleet) carryOut(s Step) {
-	i, seen := f.instances[s.Instance], f.observations[s.Instance]
+	i, obs := f.instances[s.Instance], f.observations[s.Instance]
 	i.PhaseSince = f.now
-	minutes := func(lo, hi int) { f.nextEvent[i.ID] = f.now + clock.Millis(lo+f.rnd.IntN(hi-lo+1))*clock.Minute }
+	scheduleEvent := func(lo, hi int) { f.nextEvent[i.ID] = f.now + clock.Millis(lo+f.rnd.IntN(hi-lo+1))*clock.Minute }
 	switch s.Kind {
 	case StepRelease:
 		i.Phase, i.Target = model.PhaseReleasing, i.Pool
-		f.open(i.ID)
+		f.openOutage(i.ID)
 		f.instances[i.ID] = i
 		f.checkRelease(i)
-		minutes(1, 2)
+		scheduleEvent(1, 2)
 	case StepHandOver:
 		i.Phase = model.PhaseMaintenance
-		minutes(1, 4)
+		scheduleEvent(1, 4)
 	case StepVerify:
-		seen.Verified = true
+		obs.Verified = true
 	case StepReturn:
 		i.Phase = model.PhaseServing
 		if s.Done {
 			i.MaintainedAt = f.now
 			if f.failTouched {
-				seen.Failures = seen.Calls / 4
+				obs.Failures = obs.Calls / 4
 			}
 		}
-		seen.Drained, seen.Restarted, seen.Verified = false, false, false
-		f.close(i.ID)
+		obs.Drained, obs.Restarted, obs.Verified = false, false, false
+		f.closeOutage(i.ID)
 	}
-	f.instances[i.ID], f.observations[i.ID] = i, seen
+	f.instances[i.ID], f.observations[i.ID] = i, obs
 }
 
 // checkRelease records a violation for each customer of i whose max-unavailable or
@@ -223,10 +223,10 @@
 	}
 	if lost {
 		s.LostSince = f.now
-		f.open(id)
+		f.openOutage(id)
 	} else {
 		s.LostSince = 0
-		f.close(id)
+		f.closeOutage(id)
 	}
 	f.observations[id] = s
 }
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -7,8 +7,8 @@
 
 // Settings configure the maintenance of one fleet.
 type Settings struct {
-	// MaintenanceMillis is the longest time for which one maintenance takes an
-	// instance out of service, from its release to its return; at least 1.
+	// MaintenanceMillis is the longest time that one maintenance is expected to
+	// take, from the release of the instance to its return; at least 1.
 	MaintenanceMillis clock.Millis
 	// CanaryMillis is how long the first instance of a wave is observed after
 	// its return before others follow.
@@ -17,7 +17,7 @@
 	// not verified counts as failed.
 	StuckMillis clock.Millis
 	// TouchedMillis is how long after its maintenance an instance counts as
-	// touched by the periodic wave.
+	// touched by the periodic wave; see StopPolicy.
 	TouchedMillis clock.Millis
 	// PeriodMillis is the time within which every instance is maintained once;
 	// 0 disables periodic maintenance.
@@ -30,12 +30,13 @@
 	// PacerRetryMillis is the time after which an instance that the pacer holds
 	// back is evaluated again.
 	PacerRetryMillis clock.Millis
-	// FullScan disables the index: every pass evaluates the whole fleet. It
-	// exists to measure what the index saves.
+	// FullScan disables the index: every pass evaluates the whole fleet.
+	// Benchmarks set it to measure what the index saves.
 	FullScan bool
 }
 
-// Defaults are the settings that the benchmarks use.
+// Defaults returns the default settings. The benchmarks use them unchanged; the
+// control process replaces those that its settings file contains.
 func Defaults() Settings {
 	return Settings{
 		MaintenanceMillis: 10 * clock.Minute, CanaryMillis: 15 * clock.Minute, StuckMillis: 20 * clock.Minute,
@@ -90,12 +91,13 @@
 const (
 	// StepRelease moves a serving instance to releasing: it gets no new requests.
 	StepRelease StepKind = "release"
-	// StepHandOver moves a releasing instance that is drained to maintenance: the
-	// platform may reboot it.
+	// StepHandOver moves a drained instance from releasing to maintenance: from
+	// then on the platform may reboot it.
 	StepHandOver StepKind = "hand-over"
 	// StepVerify probes the health of the restarted instance.
 	StepVerify StepKind = "verify"
-	// StepReturn moves the instance back to serving.
+	// StepReturn moves the instance back to serving, after its maintenance or
+	// because its release is taken back.
 	StepReturn StepKind = "return"
 )
 
@@ -120,15 +122,21 @@
 	LimitCanary         LimitName = "canary"
 	LimitMaxUnavailable LimitName = "max-unavailable"
 	LimitWindow         LimitName = "window-budget"
-	LimitDomain         LimitName = "failure-domain"
+	// LimitDomain: an instance of the customer in another failure domain is in
+	// maintenance or lost.
+	LimitDomain LimitName = "failure-domain"
 	// LimitUnserved is the limit that the pacer derives from the share of
 	// unserved requests.
 	LimitUnserved LimitName = "pressure"
-	LimitLost     LimitName = "lost"
+	// LimitLost: the due instance itself is lost.
+	LimitLost LimitName = "lost"
+	// LimitPlatform: the platform has not restarted an instance in maintenance
+	// within StuckMillis.
 	LimitPlatform LimitName = "platform"
 )
 
-// Wait describes why due maintenance of a pool does not start.
+// Wait describes why due maintenance of a pool does not start, or why started
+// maintenance of an instance does not go on.
 type Wait struct {
 	Pool     model.Pool
 	Wave     string
@@ -136,12 +144,15 @@
 	// Customer is empty for limits that do not belong to a customer.
 	Customer model.Customer
 	Limit    LimitName
-	Current  int64
-	Max      int64
-	// Unblock describes what ends the wait. Until is the time at which the pool
-	// can be unblocked or evaluated again without any other change; 0 for none.
+	// Current is the value that the limit restricts and Max the highest value that
+	// it allows, in the unit of the limit.
+	Current int64
+	Max     int64
+	// Unblock describes what ends the wait.
 	Unblock string
-	Until   clock.Millis
+	// Until is the time at which the pool is evaluated again even if no input
+	// changes; 0 for none.
+	Until clock.Millis
 }
 
 // Stop describes why a wave starts no more maintenance.
@@ -154,15 +165,18 @@
 
 // UnmetDeadline is a deadline that cannot be met under the present limits.
 type UnmetDeadline struct {
-	Wave     string
+	Wave string
+	// Customer is empty for the periodic wave and for instances of pools without a
+	// contract.
 	Customer model.Customer
 	// Pool is set for the periodic wave only, which is checked by pool.
 	Pool model.Pool
-	// Remaining is the number of the customer's instances still to be
-	// maintained.
+	// Remaining is the number of instances of the customer or pool still to be
+	// maintained. For the periodic wave it counts only those that are late.
 	Remaining int
 	Deadline  clock.Millis
 	// Estimate is the time at which the last instance will be done; 0 for never.
+	// The periodic wave has no estimate and leaves it 0.
 	Estimate clock.Millis
 	Reason   string
 }
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -19,21 +19,22 @@
 	scopePool
 )
 
-// nextRelease returns the next instance of the pool that may be released. If
-// there is none, it returns the first limit that blocks one; nil if no instance
-// is due. taken holds the instances already released in this pass.
-func (pl *Planner[P, S]) nextRelease(p model.Pool, now clock.Millis, taken map[*item]bool) (*item, *Wait) {
+// nextRelease returns the next instance of the pool that may be released. If there
+// is none, it returns a Wait with the first limit that blocks one; nil if no
+// instance is due. selected holds the instances already selected for release in
+// this pass.
+func (pl *Planner[P, S]) nextRelease(p model.Pool, now clock.Millis, selected map[*item]bool) (*item, *Wait) {
 	var firstWait *Wait
 	var blockedWaves []*wave
 	for _, r := range pl.dueByPool[p].racksByDeadline() {
 		if firstWait != nil && pl.disruptedInOtherDomain(p, r.items[0].inst) {
 			// Every instance of the rack is blocked and the wait to report is
-			// known already. Most racks of a large pool end here.
+			// known already. Most racks of a large pool are skipped here.
 			continue
 		}
 	rack:
 		for _, it := range r.items {
-			if taken[it] || slices.Contains(blockedWaves, it.wave) {
+			if selected[it] || slices.Contains(blockedWaves, it.wave) {
 				continue
 			}
 			wait, sc := pl.limitFor(it, now)
@@ -78,11 +79,11 @@
 		wait.Limit, wait.Unblock = LimitLost, "the instance announces itself again"
 		return &wait, scopeItem
 	case w.stopReason != "":
-		wait.Limit, wait.Unblock = LimitWaveStopped, "the touched instances recover or the declaration is withdrawn: "+w.stopReason
+		wait.Limit, wait.Unblock = LimitWaveStopped, "the touched instances recover or the declaration is cancelled: "+w.stopReason
 		return &wait, scopeWave
 	case w.observedCount == 0 && (w.inProgress+w.tentativeReleases > 0 || w.touched.Instances > 0):
 		wait.Limit, wait.Current, wait.Max = LimitCanary, int64(w.inProgress+w.tentativeReleases), 1
-		wait.Unblock = fmt.Sprintf("the first instance is back and was observed for %d ms", pl.settings.CanaryMillis)
+		wait.Unblock = fmt.Sprintf("the first instance is back in service and was observed for %d ms", pl.settings.CanaryMillis)
 		return &wait, scopeWave
 	}
 	for _, c := range pl.customersByPool[it.inst.Pool] {
@@ -111,20 +112,20 @@
 		if over := used + pl.settings.MaintenanceMillis - c.BudgetMillis; over > 0 {
 			wait.Limit, wait.Current, wait.Max = LimitWindow, int64(used), int64(c.BudgetMillis)
 			wait.Until = cs.windowFreeAt(now, over, pl.outages)
-			wait.Unblock = fmt.Sprintf("%d ms of earlier outages leave the window or do not take place", over)
+			wait.Unblock = fmt.Sprintf("%d ms of outages leave the window, or open outages end earlier than expected", over)
 			return scopePool, true
 		}
 	}
 	if cs.disruptedInOtherDomain(cs.domainOf(it.inst)) {
 		wait.Limit, wait.Current, wait.Max = LimitDomain, int64(len(cs.domainCounts)), 1
-		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back", c.Covers)
+		wait.Unblock = fmt.Sprintf("the customer's instances in other domains of kind %s are back in service", c.Covers)
 		return scopeRack, true
 	}
 	maxConcurrent := pl.pacer.MaxConcurrent(PacerInput{UnservedPermille: cs.unservedPermille, MaxUnavailable: c.MaxUnavailable, NeededForDeadline: pl.neededForDeadline(it, cs, now)})
 	if cs.byCause[causeMaintenance] >= maxConcurrent {
 		wait.Limit, wait.Current, wait.Max = LimitUnserved, int64(cs.byCause[causeMaintenance]), int64(maxConcurrent)
 		wait.Until = now + pl.settings.PacerRetryMillis
-		wait.Unblock = fmt.Sprintf("the share of unserved requests falls below %d permille", cs.unservedPermille)
+		wait.Unblock = fmt.Sprintf("the share of unserved requests falls; it is %d permille", cs.unservedPermille)
 		return scopeItem, true
 	}
 	return scopeItem, false
@@ -137,9 +138,9 @@
 	if left <= 0 {
 		return cs.contract.MaxUnavailable
 	}
-	rest := clock.Millis(0)
+	remaining := clock.Millis(0)
 	for _, p := range cs.pools {
-		rest += clock.Millis(it.wave.byPool[p])
+		remaining += clock.Millis(it.wave.byPool[p])
 	}
-	return int((rest*pl.settings.MaintenanceMillis + left - 1) / left)
+	return int((remaining*pl.settings.MaintenanceMillis + left - 1) / left)
 }
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -70,7 +70,7 @@
 			id := ids[f.rnd.IntN(len(ids))]
 			f.lose(id, f.rnd.IntN(1000) < losses)
 			if f.now == m.Deadline && f.unfinished(m) > 0 && f.firstUnmet[m.Name] == 0 {
-				t.Fatalf("%d instances are left at the deadline and no report was made", f.unfinished(m))
+				t.Fatalf("%d instances are left at the deadline, which was not reported as unmet", f.unfinished(m))
 			}
 		})
 		for _, v := range f.violations {
@@ -92,7 +92,7 @@
 			t.Fatal(v)
 		}
 		if f.contracts[0].BudgetMillis < 10*clock.Minute && (f.unfinished(m) == 0 || f.firstUnmet[m.Name] == 0) {
-			t.Fatal("a budget below one maintenance has to be reported and start nothing")
+			t.Fatal("a budget shorter than one maintenance was not reported, or the wave finished in spite of it")
 		}
 	})
 }
@@ -104,9 +104,9 @@
 		n := rapid.IntRange(3, 30).Draw(t, "n")
 		f := newFakeFleet(rapid.Uint64().Draw(t, "seed"), n, 3, 2, 2, model.FailureDomain(rapid.IntRange(0, 2).Draw(t, "covers")), rapid.IntRange(1, 6).Draw(t, "most"))
 		m := f.declare(1)
-		late := PlanOnce(FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), f.input(), f.now).UnmetDeadlines
-		assert.Equal(t, len(late), 1)
-		f.decls[0].Deadline = late[0].Estimate
+		unmet := PlanOnce(FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), f.input(), f.now).UnmetDeadlines
+		assert.Equal(t, len(unmet), 1)
+		f.decls[0].Deadline = unmet[0].Estimate
 		m = f.decls[0]
 		switch rapid.IntRange(0, 2).Draw(t, "pacer") {
 		case 0:
@@ -117,7 +117,7 @@
 			runFleet(t, f, DeadlinePacer{SlowPermille: 50, HaltPermille: 200}, ZTest{Z: 4, MinFailures: 3}, settingsWithoutPeriod(), m.Deadline, nil)
 		}
 		if left := f.unfinished(m); left > 0 || f.firstUnmet[m.Name] > 0 || len(f.violations) > 0 {
-			t.Fatalf("%d left, reported late at %d, %v", left, f.firstUnmet[m.Name], f.violations)
+			t.Fatalf("%d instances left, deadline reported as unmet at %d, violations: %v", left, f.firstUnmet[m.Name], f.violations)
 		}
 	})
 }
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -18,8 +18,8 @@
 	MaxConcurrent(PacerInput) int
 }
 
-// FullSpeedPacer is the baseline: it allows as many as the contract, regardless
-// of unserved requests.
+// FullSpeedPacer is the baseline: it allows as many as the contract allows,
+// regardless of unserved requests.
 type FullSpeedPacer struct{}
 
 // MaxConcurrent returns the limit of the contract.
@@ -34,7 +34,7 @@
 }
 
 // MaxConcurrent returns at least 1 below HaltPermille, so that a wave continues
-// while few requests are unserved.
+// while few requests are unserved; but never more than the contract allows.
 func (p ProportionalPacer) MaxConcurrent(in PacerInput) int {
 	if in.UnservedPermille >= p.HaltPermille {
 		return 0
@@ -46,9 +46,10 @@
 // always allows as many as the deadline needs.
 type DeadlinePacer struct {
 	// SlowPermille is the share of unserved requests from which only as many are
-	// allowed as the deadline needs. HaltPermille, at least SlowPermille, is the
-	// share at which no more maintenance starts.
+	// allowed as the deadline needs; at least 1.
 	SlowPermille int
+	// HaltPermille is the share at which no more maintenance starts; at least
+	// SlowPermille.
 	HaltPermille int
 }
 
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// planInProgress adds the steps of the instances whose maintenance has started.
+// planInProgress adds the steps of the instances whose maintenance has started, and
+// a wait for each that the platform has not restarted in time.
 func (pl *Planner[P, S]) planInProgress(now clock.Millis, plan *Plan) {
 	takenBack := map[model.Customer]int{}
 	for _, id := range sortedKeys(pl.inProgress) {
@@ -118,11 +119,11 @@
 
 func (pl *Planner[P, S]) outages(p model.Pool) []Outage { return pl.finishedOutages[p] }
 
-// planReleases adds releases of due instances in the pools that changed. Pools
-// are processed in the order of their earliest deadline.
+// planReleases adds releases of due instances in poolsToCheck. Pools are processed
+// in the order of their earliest deadlines.
 func (pl *Planner[P, S]) planReleases(now clock.Millis, plan *Plan) {
-	pools := sortedKeys(pl.changedPools)
-	clear(pl.changedPools)
+	pools := sortedKeys(pl.poolsToCheck)
+	clear(pl.poolsToCheck)
 	earliest := map[model.Pool]clock.Millis{}
 	pools = slices.DeleteFunc(pools, func(p model.Pool) bool {
 		delete(pl.waits, p)
@@ -134,16 +135,16 @@
 		return false
 	})
 	slices.SortStableFunc(pools, func(x, y model.Pool) int { return cmp.Compare(earliest[x], earliest[y]) })
-	taken := map[*item]bool{}
+	selected := map[*item]bool{}
 	var released []*item
 	for _, p := range pools {
 		for {
-			it, wait := pl.nextRelease(p, now, taken)
+			it, wait := pl.nextRelease(p, now, selected)
 			if it == nil {
 				pl.recordWait(p, wait)
 				break
 			}
-			taken[it] = true
+			selected[it] = true
 			released = append(released, it)
 			plan.Steps = append(plan.Steps, Step{
 				Kind: StepRelease, Instance: it.inst.ID, Pool: p, Wave: it.wave.decl.Name, Reason: pl.releaseReason(it),
@@ -155,7 +156,7 @@
 	// out is counted when the instance's phase changes.
 	for _, it := range released {
 		pl.reserve(it, -1)
-		pl.changedPools[it.inst.Pool] = true
+		pl.poolsToCheck[it.inst.Pool] = true
 	}
 }
 
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -31,12 +31,14 @@
 	inProgress map[model.InstanceID]*item
 	// changed holds the instances that changed since the last pass.
 	changed map[model.InstanceID]bool
-	// changedPools holds the pools in which due maintenance may have become
-	// able to start.
-	changedPools map[model.Pool]bool
+	// poolsToCheck holds the pools whose due instances the next pass evaluates,
+	// because their maintenance may now be able to start.
+	poolsToCheck map[model.Pool]bool
 	// wavesToCheck holds the waves whose deadlines the next pass checks.
 	wavesToCheck map[string]bool
-	waits        map[model.Pool]Wait
+	// waits holds the reason why due instances wait, by pool, as of the last
+	// evaluation of the pool.
+	waits map[model.Pool]Wait
 	// finishedOutages holds the finished outages by pool, in the order of the
 	// SetOutage calls.
 	finishedOutages map[model.Pool][]Outage
@@ -57,11 +59,12 @@
 	// counted is set while the fields below are included in the counts.
 	counted     bool
 	unavailable bool
-	// wave is the pending wave with the earliest deadline; nil for none.
+	// wave is the wave with the earliest deadline among those that still have to
+	// maintain the instance, and deadline its deadline; nil and 0 for none.
 	wave     *wave
 	deadline clock.Millis
-	// pendingIn, touchedBy, peerIn and observedIn list the waves in whose pending,
-	// touched, peers and observedCount the instance is included; see wave.
+	// pendingIn, touchedBy, peerIn and observedIn list the waves that count the
+	// instance in their fields pending, touched, peers and observedCount.
 	pendingIn  []*wave
 	touchedBy  []*wave
 	peerIn     []*wave
@@ -85,7 +88,7 @@
 		dueByPool:       map[model.Pool]*dueQueue{},
 		inProgress:      map[model.InstanceID]*item{},
 		changed:         map[model.InstanceID]bool{},
-		changedPools:    map[model.Pool]bool{},
+		poolsToCheck:    map[model.Pool]bool{},
 		wavesToCheck:    map[string]bool{},
 		waits:           map[model.Pool]Wait{},
 		finishedOutages: map[model.Pool][]Outage{},
@@ -144,9 +147,9 @@
 func (pl *Planner[P, S]) SetObservation(id model.InstanceID, obs Observation) {
 	it := pl.ensureItem(id)
 	calls, failures := obs.Calls-it.observation.Calls, obs.Failures-it.observation.Failures
-	same := it.observation
-	same.Calls, same.Failures = obs.Calls, obs.Failures
-	if !it.counted || same != obs {
+	withNewCounts := it.observation
+	withNewCounts.Calls, withNewCounts.Failures = obs.Calls, obs.Failures
+	if !it.counted || withNewCounts != obs {
 		pl.uncount(it)
 		it.observation = obs
 		return
@@ -211,7 +214,7 @@
 
 // uncountPool removes the instances of the pool from all counts until the next pass.
 func (pl *Planner[P, S]) uncountPool(p model.Pool) {
-	pl.changedPools[p] = true
+	pl.poolsToCheck[p] = true
 	for _, it := range pl.itemsByPool[p] {
 		pl.uncount(it)
 	}
@@ -283,7 +286,7 @@
 // markPools marks the pools of the customer for evaluation in the next pass.
 func (pl *Planner[P, S]) markPools(cs *customerState) {
 	for _, p := range cs.pools {
-		pl.changedPools[p] = true
+		pl.poolsToCheck[p] = true
 	}
 }
 
--- a/core/state/maint/stop_policy.go
+++ b/core/state/maint/stop_policy.go
@@ -92,8 +92,8 @@
 		return 0
 	}
 	a, b := (float64(fa)+0.5)/(float64(na)+1), (float64(fb)+0.5)/(float64(nb)+1)
-	pool := (float64(fa+fb) + 1) / (float64(na+nb) + 2)
-	return (a - b) / math.Sqrt(pool*(1-pool)*(1/float64(na+1)+1/float64(nb+1)))
+	pooled := (float64(fa+fb) + 1) / (float64(na+nb) + 2)
+	return (a - b) / math.Sqrt(pooled*(1-pooled)*(1/float64(na+1)+1/float64(nb+1)))
 }
 
 func failureRate(n, of int64) float64 {
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -29,7 +29,7 @@
 	// observed for the canary time. The first one ends the canary phase.
 	observedCount int
 	// canaryReturnedAt is the time at which the first instance returned. It is
-	// meaningful while observedCount is 0.
+	// valid only while observedCount is 0.
 	canaryReturnedAt clock.Millis
 	// stopReason is the reason why no more maintenance starts; empty while the
 	// wave runs.
@@ -40,8 +40,8 @@
 	tentativeReleases int
 }
 
-// group identifies the instances of one pool and rack, which the limits other
-// than those on single instances treat alike.
+// group identifies the instances of one pool and rack. All limits other than those
+// on single instances treat the instances of a group alike.
 type group struct {
 	pool model.Pool
 	zone model.Zone
@@ -95,9 +95,9 @@
 }
 
 // periodEnd returns the time by which periodic maintenance of the instance is
-// required next. Instances that were not maintained since
-// PeriodicStart are spread evenly by a hash of their ID, so that their first
-// period does not end at the same time.
+// required next. Instances that were not maintained since PeriodicStart are spread
+// evenly by a hash of their ID, so that their first periods do not all end at the
+// same time.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
 	if i.MaintainedAt >= s.PeriodicStart && i.MaintainedAt > 0 {
 		return i.MaintainedAt + s.PeriodMillis
