--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -188,7 +188,7 @@
 }
 
 // TestFloodDoesNotStarve guards against a flood of requests of one customer that
-// starves another.
+// starves another under WeightedFair.
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -280,8 +280,8 @@
 	return w, ReasonNone
 }
 
-// HasRunnable reports whether a pool has a waiter whose customer is below its share
-// of the requests in flight.
+// HasRunnable reports whether a pool has a waiter whose customer has fewer requests
+// in flight than its share allows.
 func (c *Controller[P, R]) HasRunnable(p model.Pool) bool {
 	pq := c.pools[p]
 	if pq == nil {
--- a/core/state/admit/limit.go
+++ b/core/state/admit/limit.go
@@ -3,7 +3,7 @@
 import "camphorridge/core/state/model"
 
 // DefaultSlots is the number of slots assumed for an instance whose slots are not
-// in the table. The upstreams of both operators have 8.
+// in the table. The upstreams of both known operators have 8 slots.
 const DefaultSlots = 8
 
 // Limit holds the limits of a customer over all entry processes or, after Divide,
--- a/core/state/admit/queue.go
+++ b/core/state/admit/queue.go
@@ -113,7 +113,8 @@
 	q.info.VirtualTime += 1 / float64(q.info.Weight)
 }
 
-// expire removes the waiters whose deadline is at or before now.
+// expire removes the waiters whose deadline is at or before now and appends them to
+// late.
 func (q *Queue[R]) expire(now clock.Millis, late []R) []R {
 	for w := q.first; w != nil; {
 		next := w.next
--- a/core/state/admit/retry.go
+++ b/core/state/admit/retry.go
@@ -1,6 +1,6 @@
 package admit
 
-// retryBurst is the largest number of retry tokens of a customer. It prevents a
+// retryBurst is the largest number of retry tokens of a customer. It limits the
 // burst of retries after a long time without any.
 const retryBurst = 10
 
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -68,16 +68,17 @@
 
 func anyStep(t *rapid.T, s *fleet.State) model.InstanceStep {
 	id := pick[model.InstanceID](t, "instance", "i1", "i2")
-	held := s.Instances[id]
-	return model.InstanceStep{Base: anyBase(t, held.Version), Instance: model.Instance{
-		ID: id, Zone: "z", Pool: pick(t, "pool", "a", "b", held.Pool, held.Pool), Target: pick(t, "target", pools...),
-		Phase:     pick(t, "phase", append(phases, held.Phase, model.PhaseServing)...),
+	current := s.Instances[id]
+	return model.InstanceStep{Base: anyBase(t, current.Version), Instance: model.Instance{
+		ID: id, Zone: "z", Pool: pick(t, "pool", "a", "b", current.Pool, current.Pool), Target: pick(t, "target", pools...),
+		Phase:     pick(t, "phase", append(phases, current.Phase, model.PhaseServing)...),
 		LostSince: pick[clock.Millis](t, "lost", 0, 0, 1),
 	}}
 }
 
-// checkPools checks that a change lowered no version, and that no instance changed
-// its pool or left it without a release.
+// checkPools checks that a change lowered no version, that no instance changed its
+// pool or left it without a release, and that OutOfServiceSince is set if and only
+// if the instance is out of service.
 func checkPools(t *rapid.T, before, after model.Table) {
 	assert.Assert(t, after.Version >= before.Version)
 	for _, is := range after.Instances {
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -12,8 +12,8 @@
 	// changes. Operators' tools resend within minutes.
 	ResultLifetime = 24 * clock.Hour
 	MaxResults     = 10_000
-	// ClaimLifetime and MaxClaims bound the idempotency claims. 100,000 claims take
-	// 27 MB, and a control process may use 128 MB.
+	// ClaimLifetime and MaxClaims bound the recorded idempotency claims. 100,000
+	// claims take 27 MB, and a control process may use 128 MB.
 	ClaimLifetime = 24 * clock.Hour
 	MaxClaims     = 200_000
 	// MaxOutages bounds the finished outages. At the target size about 2,000
@@ -76,7 +76,7 @@
 	Jobs *jobs.State
 }
 
-// ClaimRecord is a claimed idempotency key.
+// ClaimRecord is the recorded claim of an idempotency key, running or closed.
 type ClaimRecord struct {
 	Token string
 	// Owner is the entry process that runs the request, and Incarnation its
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -55,10 +55,10 @@
 	return model.Result{Version: index}
 }
 
-// withTimes returns the next state of an instance with its times set. If the step
-// ends an outage, it also records the outage. now is the state's time rather than
-// that of the change: a new leader's clock may be behind, and an outage must not
-// end before its start.
+// withTimes returns the next state of an instance with PhaseSince and
+// OutOfServiceSince set. If the step ends an outage, it also records the outage. now
+// is the state's time rather than that of the change: a new leader's clock may be
+// behind, and an outage must not end before its start.
 func (s *State) withTimes(current, next model.Instance, now clock.Millis) model.Instance {
 	next.PhaseSince = current.PhaseSince
 	if current.ID == "" || next.Phase != current.Phase {
@@ -156,7 +156,7 @@
 	if from == s.Version {
 		return model.Delta{From: from, To: s.Version}
 	}
-	if from > s.Version || !s.changesReach(from) {
+	if from > s.Version || !s.hasChangesSince(from) {
 		return s.fullDelta()
 	}
 	d := model.Delta{From: from, To: s.Version}
@@ -192,8 +192,8 @@
 	d.RemovedInstances = append(d.RemovedInstances, id)
 }
 
-// changesReach reports whether TableChanges holds every change after from.
-func (s *State) changesReach(from model.Version) bool {
+// hasChangesSince reports whether TableChanges holds every change after from.
+func (s *State) hasChangesSince(from model.Version) bool {
 	if len(s.TableChanges) < MaxTableChanges {
 		return true
 	}
--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -10,8 +10,8 @@
 
 // maintenanceShortfalls returns a shortfall for every maintenance deadline that the
 // disruption limits make impossible to meet, for declarations and for periodic
-// maintenance. In pools shared with another customer, the limits of either
-// customer restrict maintenance, so those of the other are checked too.
+// maintenance. In pools shared with another customer, the limits of both customers
+// restrict maintenance, so those of the other customer are checked too.
 func maintenanceShortfalls(settings Settings, in Input) []Shortfall {
 	var out []Shortfall
 	own := poolsOf(in.Contract)
@@ -56,20 +56,20 @@
 }
 
 // deadlineShortfalls returns the shortfalls of contract c if n instances have to be
-// maintained in the time left. name becomes the subject of the shortfalls.
+// maintained within the time left. name becomes the Subject of the shortfalls.
 func deadlineShortfalls(settings Settings, in Input, c model.Contract, name string, n int, left clock.Millis) []Shortfall {
 	var out []Shortfall
 	if have := allowedByMaxUnavailable(settings, in.Fleet, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallMaxUnavailable, Subject: name, Required: int64(n), Available: have,
-			Text: fmt.Sprintf("%s: %d instances in %d ms; max-unavailable %d with %d ms each allows %d",
+			Text: fmt.Sprintf("%s: %d instances to maintain in %d ms; max-unavailable %d with maintenances of %d ms allows %d",
 				name, n, left, c.MaxUnavailable, settings.MaintenanceMillis, have),
 		})
 	}
 	if have := allowedByBudget(settings, c, left); int64(n) > have {
 		out = append(out, Shortfall{
 			Kind: ShortfallBudget, Subject: name, Required: int64(n), Available: have,
-			Text: fmt.Sprintf("%s: %d instances in %d ms; a budget of %d ms in %d ms with %d ms each allows %d",
+			Text: fmt.Sprintf("%s: %d instances to maintain in %d ms; a budget of %d ms in each window of %d ms with maintenances of %d ms allows %d",
 				name, n, left, c.BudgetMillis, c.WindowMillis, settings.MaintenanceMillis, have),
 		})
 	}
@@ -89,8 +89,8 @@
 	for _, d := range domainSizes(f, c.Covers) {
 		largest = max(largest, d.n)
 	}
-	width := int64(min(c.MaxUnavailable, PromisedInstances(c)+c.Spare, largest))
-	return int64(left/max(settings.MaintenanceMillis, 1)) * width
+	maxConcurrent := int64(min(c.MaxUnavailable, PromisedInstances(c)+c.Spare, largest))
+	return int64(left/max(settings.MaintenanceMillis, 1)) * maxConcurrent
 }
 
 // allowedByBudget returns the number of maintenances that the window budget allows
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -34,8 +34,8 @@
 	// RuleSlots sums up instances times slots per instance over the promised
 	// pools.
 	RuleSlots Rule = "promised instances x slots"
-	// RulePercent takes a percentage of the concurrency, rounded down, so that
-	// retries never exceed the promised share.
+	// RulePercent takes a percentage of the concurrency, rounded down so that
+	// retries never exceed the promised percentage.
 	RulePercent Rule = "percent of concurrency"
 	// RuleNoWindow leaves the time out of service unbounded because no window
 	// is set.
@@ -54,7 +54,8 @@
 // Limit is a derived limit together with its derivation.
 type Limit struct {
 	Name Name
-	// Requested is the value in the contract; 0 leaves the value to the rule.
+	// Requested is the value in the contract. A concurrency of 0 requests none and
+	// leaves the value to RuleSlots.
 	Requested int64
 	Value     int64
 	Rule      Rule
@@ -62,7 +63,7 @@
 	Operands []Operand
 }
 
-// Unbounded is the value of a limit that does not restrict anything.
+// Unbounded is the value of a limit that restricts nothing.
 const Unbounded = int64(1) << 62
 
 // Fleet describes the machines that limits are derived from.
@@ -109,8 +110,8 @@
 	}
 }
 
-// SlotsPolicy decides how many slots one instance of a pool counts for. slots
-// holds the slots of the pool's instances in ascending order.
+// SlotsPolicy decides how many slots each instance of a pool adds to the
+// concurrency. slots holds the slots of the pool's instances in ascending order.
 type SlotsPolicy interface {
 	PerInstance(slots []int) int
 }
--- a/core/state/limits/evaluate.go
+++ b/core/state/limits/evaluate.go
@@ -40,7 +40,8 @@
 // Shortfall is one respect in which the fleet cannot satisfy a contract.
 type Shortfall struct {
 	Kind ShortfallKind
-	// Subject names what falls short: a zone, a rack, a declaration, a resource.
+	// Subject names what falls short, for example a zone, a declaration or a
+	// resource.
 	Subject string
 	// Required and Available are numbers of instances, slots, maintenances or
 	// units of a resource, depending on the kind.
@@ -209,8 +210,8 @@
 }
 
 // smallestMaxLoad returns the number of instances in the fullest domain when total
-// instances are spread over the domains as evenly as possible, and the name of a
-// domain that can hold as many.
+// instances are spread over the domains as evenly as possible, and the name of the
+// first domain that can hold as many.
 func smallestMaxLoad(sizes []domainSize, total int) (load int, name string) {
 	largest := 0
 	for _, s := range sizes {
--- a/core/state/limits/limits_test.go
+++ b/core/state/limits/limits_test.go
@@ -67,24 +67,24 @@
 		required, available int64
 	}{
 		{"fits", inputWith(func(*Input) {}), Accept, "", 0, 0},
-		{"zone", inputWith(func(in *Input) { in.Contract.Covers = model.DomainZone }), AcceptWithShortfall, ShortfallSpare, 17, 8},
-		{"owned", inputWith(func(in *Input) {
+		{"spare for a zone", inputWith(func(in *Input) { in.Contract.Covers = model.DomainZone }), AcceptWithShortfall, ShortfallSpare, 17, 8},
+		{"more instances than owned", inputWith(func(in *Input) {
 			in.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "x", Instances: 1}}}}
 		}), Refuse, ShortfallInstances, 51, 50},
-		{"width", inputWith(func(in *Input) {
+		{"max-unavailable", inputWith(func(in *Input) {
 			in.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: 2 * clock.Hour}}
 		}), AcceptWithShortfall, ShortfallMaxUnavailable, 50, 24},
 		{"budget", inputWith(func(in *Input) {
 			in.Contract.BudgetMillis, in.Contract.WindowMillis = clock.Hour, 30*clock.Day
 		}), AcceptWithShortfall, ShortfallBudget, 50, 12},
-		{"shared", inputWith(func(in *Input) {
+		{"shared pool", inputWith(func(in *Input) {
 			in.Contract.Pools[0].Instances = 40
 			in.Declarations = []model.Maintenance{{Name: "m", DeclaredAt: 1, Deadline: clock.Day}}
 			in.Others = []model.Contract{{Customer: "other", Pools: []model.PoolShare{{Pool: "logs", Instances: 1}}}}
 		}), AcceptWithShortfall, ShortfallMaxUnavailable, 42, 0},
 		{"quota", inputWith(func(in *Input) { in.Contract.Quota.MilliCores = 800001 }), AcceptWithShortfall, ShortfallQuota, 800001, 800000},
 		{"slots", inputWith(func(in *Input) { in.Contract.Concurrency = 400 }), AcceptWithShortfall, ShortfallSlots, 400, 336},
-		{"form", inputWith(func(in *Input) { in.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
+		{"contradiction", inputWith(func(in *Input) { in.Contract.SparePool = "logs" }), Refuse, ShortfallInvalid, 0, 0},
 	} {
 		v := Evaluate(RefuseImpossible{}, MinSlots{}, settings, c.in)
 		assert.Equal(t, v.Decision, c.decision, "%s: %v", c.name, v)
@@ -101,10 +101,9 @@
 	}
 }
 
-// TestSpareShortfallAgainstExhaustiveSearch guards against a spare shortfall that
-// is not reported although an exhaustive search finds no spread of the instances
-// that survives the loss of a zone, and against one that is reported although
-// there is such a spread.
+// TestSpareShortfallAgainstExhaustiveSearch guards against missing and wrong spare
+// shortfalls: there must be one if and only if an exhaustive search finds no spread
+// of the instances in which the spare covers the loss of any zone.
 func TestSpareShortfallAgainstExhaustiveSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 12).Draw(t, "n")
@@ -120,7 +119,7 @@
 			}
 		}
 		if fits == short {
-			t.Fatalf("n=%d promised=%d spare=%d: short=%v but a spread that fits exists=%v", n, promised, spare, short, fits)
+			t.Fatalf("n=%d promised=%d spare=%d: shortfall reported=%v, but a spread that fits exists=%v", n, promised, spare, short, fits)
 		}
 	})
 }
@@ -161,24 +160,24 @@
 func benchRefusalPolicy[S RefusalPolicy](b *testing.B, name string, policy S) {
 	b.Run(name, func(b *testing.B) {
 		count := map[Decision]float64{}
-		broken := 0.0
+		violations := 0.0
 		f := fleetOf(50, 8)
 		for b.Loop() {
 			clear(count)
-			broken = 0
+			violations = 0
 			for k := range 300 {
 				c := contract(1+k%60, k%13, model.FailureDomain(k%3))
 				c.MaxUnavailable = k % 5
 				v := Evaluate(policy, MinSlots{}, Settings{MaintenanceMillis: 10 * clock.Minute, PeriodMillis: 49 * clock.Day}, Input{Contract: c, Fleet: f})
 				count[v.Decision]++
 				if v.Decision != Refuse && PromisedInstances(c)+c.Spare > 50 {
-					broken++
+					violations++
 				}
 			}
 		}
 		b.ReportMetric(count[Accept], "accepted")
 		b.ReportMetric(count[AcceptWithShortfall], "accepted-short")
 		b.ReportMetric(count[Refuse], "refused")
-		b.ReportMetric(broken, "violations")
+		b.ReportMetric(violations, "violations")
 	})
 }
--- a/core/state/limits/policy.go
+++ b/core/state/limits/policy.go
@@ -43,9 +43,9 @@
 	Refuses(Shortfall) bool
 }
 
-// RefuseImpossible refuses a contract that contradicts itself or needs more
-// instances than the fleet owns. With any other shortfall the contract is accepted
-// and the shortfall reported.
+// RefuseImpossible refuses a contract that contradicts itself or that, together
+// with all other contracts, needs more instances than the fleet owns. With any other
+// shortfall the contract is accepted and the shortfall reported.
 type RefuseImpossible struct{}
 
 // Refuses reports whether s makes the contract impossible.
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -31,8 +31,8 @@
 // Record is the latest announcement of an instance.
 type Record struct {
 	Announcement model.Announcement
-	// SentAt is the latest time at which an announcement was sent: the time of its
-	// receipt minus its age.
+	// SentAt is the latest time at which an announcement of the instance was sent:
+	// the time of its receipt minus its age.
 	SentAt clock.Millis
 	// ExpiresAt is the end of the lease; it never moves back within an
 	// incarnation.
@@ -55,7 +55,7 @@
 	// Age is the time since the upstream sent the announcement, as far as known.
 	Age clock.Millis
 	// Direct is set if it came from the upstream itself rather than from a
-	// neighbour.
+	// neighbour, another entry process of the zone.
 	Direct bool
 }
 
@@ -95,9 +95,9 @@
 func (r *Roster) Lease() clock.Millis { return r.cfg.Lease }
 
 // Tick sets the current time and reports whether this process was paused. After a
-// gap longer than MaxTickGap, the process itself was paused and could not receive
-// announcements, so every lease that was valid at the last tick is extended to at
-// least one full lease from now.
+// gap longer than MaxTickGap, the process is assumed to have been paused and unable
+// to receive announcements, so every lease that was valid at the last tick is
+// extended to at least one full lease from now.
 func (r *Roster) Tick(now clock.Millis) (paused bool) {
 	before := r.lastTick
 	r.lastTick = max(r.lastTick, now)
@@ -173,9 +173,9 @@
 	case a.Incarnation > current.Incarnation:
 		return nil
 	case a.Pool != current.Pool:
-		return refusal(KindPool, "instance %s announced pool %s and %s under incarnation %d", a.Instance, current.Pool, a.Pool, a.Incarnation)
+		return refusal(KindPool, "instance %s announced both pool %s and pool %s under incarnation %d", a.Instance, current.Pool, a.Pool, a.Incarnation)
 	case a.Address != current.Address:
-		return refusal(KindAddress, "instance %s announced address %s and %s under incarnation %d", a.Instance, current.Address, a.Address, a.Incarnation)
+		return refusal(KindAddress, "instance %s announced both address %s and address %s under incarnation %d", a.Instance, current.Address, a.Address, a.Incarnation)
 	case current.State == model.AnnounceLeaving && a.State != model.AnnounceLeaving:
 		return refusal(KindStale, "instance %s is leaving under incarnation %d", a.Instance, a.Incarnation)
 	}
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -50,16 +50,16 @@
 	Instances   []InstanceStep
 	Claims      []Claim
 	Outcomes    []ClaimOutcome
-	// Process is the entry process that claims, and Incarnation its incarnation.
-	// For ChangeProcessGone, Process is the process that is gone.
+	// Process is the entry process that makes the claims, and Incarnation its
+	// incarnation. For ChangeProcessGone, Process is the process that is gone.
 	Process     Process
 	Incarnation uint64
 	// Ops are applied in order at Time.
 	Ops []jobs.Op
 }
 
-// InstanceStep moves one instance from one phase to the next. Base must be
-// the version of the instance, or 0 to enrol it.
+// InstanceStep replaces the record of one instance, usually to move it to its next
+// phase. Base must be the version of the instance, or 0 to enrol it.
 type InstanceStep struct {
 	Base     Version
 	Instance Instance
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -22,11 +22,11 @@
 	// ejectMax.
 	ejectBase = clock.Second
 	ejectMax  = 30 * clock.Second
-	// ejectResetAfter is the time after the end of an ejection after which a success
-	// resets the duration of the next one to ejectBase.
+	// ejectResetAfter is the time that must pass after the end of an ejection until a
+	// success resets the duration of the next one to ejectBase.
 	ejectResetAfter = 60 * clock.Second
 	// scoreAfterEjection is the score after an ejection. From it, one failed
-	// connection or three failures in a row eject the upstream again.
+	// connection or two failures in a row raise the score above ejectAbove again.
 	scoreAfterEjection = 0.25
 )
 
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -48,6 +48,8 @@
 	return u.slots(waiting(u.Pool)), true
 }
 
+// slots describes the slots of the upstream to the lender. waiting is the number of
+// queued requests of its pool.
 func (u *Upstream) slots(waiting int) lend.UpstreamSlots {
 	return lend.UpstreamSlots{
 		Loan: lend.Loan{
--- a/core/state/route/policy.go
+++ b/core/state/route/policy.go
@@ -15,7 +15,7 @@
 }
 
 // LeastLoaded chooses the candidate that uses the smallest fraction of its capacity.
-// Among equally loaded candidates the first one rotates, so that several entry
+// Among equally loaded candidates the choice rotates with turn, so that several entry
 // processes do not all choose the same upstream first.
 type LeastLoaded struct{}
 
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -66,15 +66,15 @@
 // table and its announcement.
 func TestOnlyAgreedUpstreamsAreRoutable(t *testing.T) {
 	for name, change := range map[string]func(i *model.Instance, a *model.Announcement, live *bool){
-		"leaving":        func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
-		"lapsed":         func(_ *model.Instance, _ *model.Announcement, live *bool) { *live = false },
-		"releasing":      func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseReleasing },
-		"maintenance":    func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseMaintenance },
-		"retired":        func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseRetired },
-		"other pool":     func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Pool = "q" },
-		"assigned":       func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Pool = "q" },
-		"other zone":     func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Zone = "y" },
-		"announced zone": func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Zone = "y" },
+		"leaving":                 func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
+		"lease expired":           func(_ *model.Instance, _ *model.Announcement, live *bool) { *live = false },
+		"releasing":               func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseReleasing },
+		"maintenance":             func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseMaintenance },
+		"retired":                 func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Phase = model.PhaseRetired },
+		"announced pool":          func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Pool = "q" },
+		"other pool in the table": func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Pool = "q" },
+		"other zone in the table": func(i *model.Instance, _ *model.Announcement, _ *bool) { i.Zone = "y" },
+		"announced zone":          func(_ *model.Instance, a *model.Announcement, _ *bool) { a.Zone = "y" },
 	} {
 		r := newWarmRouter(LeastLoaded{}, 1)
 		i, a, live := entryOf("i0", 2), announced("i0", 1), true
@@ -227,8 +227,8 @@
 }
 
 // TestFailingUpstreamIsEjected guards against an upstream that fails all requests
-// and attracts the most of them, because failing is fast. Also guards against
-// ejections for a fault that all upstreams share.
+// and attracts most of them because it fails fast, and against ejections for a fault
+// that all upstreams share.
 func TestFailingUpstreamIsEjected(t *testing.T) {
 	for _, o := range []Outcome{OutcomeError, OutcomeUnknown, OutcomeTimeout, OutcomeConnect} {
 		r := newWarmRouter(LeastLoaded{}, 4)
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -59,8 +59,9 @@
 	// BlockedRelease is the table version of the earliest release that cannot be
 	// confirmed yet because OldRunning or Lent is above 0; 0 if both are 0.
 	BlockedRelease model.Version
-	// SlowStartFrom is the time from which slow start is counted: when the upstream
-	// became routable, when its process restarted, or when its last ejection ends.
+	// SlowStartFrom is the time at which slow start begins: when the upstream became
+	// routable, when its process restarted, or when its last ejection ends, whichever
+	// was set last.
 	SlowStartFrom clock.Millis
 	// Score is the smoothed failure rate, from 0 to 1.
 	Score float64
