Reword comments of route and maint

ScoreResetPending said that Score stays as it was at the ejection, but requests in flight still change it. The rule for other zones in SetInstance and the cache of windowUsed had to be read twice.

--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -30,8 +30,8 @@
 	// tentativeReleases is the number of the customer's releases decided in the
 	// current pass.
 	tentativeReleases int
-	// usedMillis caches the window sum computed at time usedAt; usedAt is -1
-	// while the cache is invalid.
+	// usedMillis caches the sum that windowUsed computed at the time usedAt, without
+	// tentative releases; usedAt is -1 while the cache is invalid.
 	usedAt     clock.Millis
 	usedMillis clock.Millis
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// SetInstance adds the table entry of an instance or replaces it. Instances of
-// other zones are ignored, unless an entry or announcement of the instance is
-// known already. previousVersion is the version of the table before the change.
+// SetInstance adds the table entry of an instance or replaces it. An instance of
+// another zone is ignored unless the router already has an entry or an announcement
+// of it. previousVersion is the version of the table before the change.
 func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, previousVersion model.Version) {
 	u := r.upstreams[i.ID]
 	if i.Zone != r.cfg.Zone {
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -68,9 +68,9 @@
 	// EjectedUntil is the end of the last ejection; in the future while the
 	// upstream is ejected.
 	EjectedUntil clock.Millis
-	// ScoreResetPending is set while Score is still the score that led to the
-	// ejection. It is kept for the comparison with peers and reset by the first
-	// outcome after the ejection.
+	// ScoreResetPending is set from an ejection until the first outcome after its
+	// end, which resets Score. Until then the score that led to the ejection is kept
+	// for the comparison with peers; requests still in flight go on to change it.
 	ScoreResetPending bool
 	// ConsecutiveEjections determines the duration of the next ejection.
 	ConsecutiveEjections int
