--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -106,7 +106,7 @@
 				c := model.Customer(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "customer")))
 				q, reason := s.controller.Queue(c, "p")
 				if reason != ReasonNone {
-					assert.Equal(t, reason, ReasonShare)
+					assert.Equal(t, reason, ReasonNoShare)
 					return
 				}
 				if q.CanRun() && q.Len() == 0 && !s.controller.HasRunnable("p") && s.inFlight() < s.slots {
@@ -188,7 +188,7 @@
 }
 
 // TestFloodDoesNotStarve guards against a flood of requests of one customer that
-// starves another.
+// starves another under WeightedFair.
 func TestFloodDoesNotStarve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		wa, wb := rapid.IntRange(1, 20).Draw(t, "wa"), rapid.IntRange(1, 20).Draw(t, "wb")
@@ -276,7 +276,7 @@
 	assert.Equal(t, reason, ReasonNone)
 	assert.DeepEqual(t, controller.RemoveCustomer("a"), []int{7})
 	_, reason = controller.Queue("a", "p")
-	assert.Equal(t, reason, ReasonContract)
+	assert.Equal(t, reason, ReasonNoContract)
 	controller.SetCustomer("a", Limit{MaxInFlight: 2}, pools)
 	assert.Equal(t, controller.Customer("a").Running, 1)
 	controller.RemoveCustomer("a")
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -59,17 +59,18 @@
 	// BlockedRelease is the table version of the earliest release that cannot be
 	// confirmed yet because OldRunning or Lent is above 0; 0 if both are 0.
 	BlockedRelease model.Version
-	// RoutableSince is the time from which slow start is counted: when the upstream
-	// became routable, when its process restarted, or when its last ejection ends.
-	RoutableSince clock.Millis
+	// SlowStartFrom is the time at which slow start begins: when the upstream became
+	// routable, when its process restarted, or when its last ejection ends, whichever
+	// was set last.
+	SlowStartFrom clock.Millis
 	// Score is the smoothed failure rate, from 0 to 1.
 	Score float64
 	// EjectedUntil is the end of the last ejection; in the future while the
 	// upstream is ejected.
 	EjectedUntil clock.Millis
-	// ScoreResetPending is set while Score is still the score that led to the
-	// ejection. It is kept for the comparison with peers and reset by the first
-	// outcome after the ejection.
+	// ScoreResetPending is set from an ejection until the first outcome after its
+	// end, which resets Score. Until then the score that led to the ejection is kept
+	// for the comparison with peers; requests still in flight go on to change it.
 	ScoreResetPending bool
 	// ConsecutiveEjections determines the duration of the next ejection.
 	ConsecutiveEjections int
