Name codec functions after the types they convert

Read badly: ProcessToWire took a model.Member and gave a wirepb.Member, while MemberToWire took a raft.Member and gave a wirepb.GroupMember; EntryToWire could mean an entry process, MessageToWire any message, and JobsToWire a list of jobs although it converts the whole job state.

--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -34,7 +34,7 @@
 	case model.ChangeProcessGone:
 		w.Process = validUTF8(c.Process)
 	case model.ChangeJobs:
-		w.Ops = mapAll(c.Ops, OpToWire)
+		w.Ops = mapAll(c.Ops, JobOpToWire)
 	}
 	return w
 }
@@ -74,7 +74,7 @@
 		c.Process = model.Process(w.GetProcess())
 		err = required("change", "process", w.GetProcess())
 	case model.ChangeJobs:
-		c.Ops, err = tryMapAll(w.GetOps(), OpFromWire)
+		c.Ops, err = tryMapAll(w.GetOps(), JobOpFromWire)
 	}
 	if err != nil {
 		return model.Change{}, err
--- a/io/proto/codec/codec.go
+++ b/io/proto/codec/codec.go
@@ -23,11 +23,11 @@
 }
 
 // EncodeEntry returns the stored form of a log entry.
-func (Codec) EncodeEntry(e raft.Entry) []byte { return encode(EntryToWire(e)) }
+func (Codec) EncodeEntry(e raft.Entry) []byte { return encode(LogEntryToWire(e)) }
 
 // DecodeEntry is the inverse of EncodeEntry.
 func (Codec) DecodeEntry(b []byte) (raft.Entry, error) {
-	return decode("log entry", b, &wirepb.LogEntry{}, EntryFromWire)
+	return decode("log entry", b, &wirepb.LogEntry{}, LogEntryFromWire)
 }
 
 // EncodeState returns the stored form of the replicated state. Equal states give
--- a/io/proto/codec/event.go
+++ b/io/proto/codec/event.go
@@ -43,14 +43,14 @@
 	}, nil
 }
 
-// ProcessToWire converts a process that the settings list to its message.
-func ProcessToWire(m model.Member) *wirepb.Member {
+// MemberToWire converts a process that the settings list to its message.
+func MemberToWire(m model.Member) *wirepb.Member {
 	return &wirepb.Member{Name: validUTF8(m.Name), Zone: validUTF8(m.Zone), Address: validUTF8(m.Address)}
 }
 
-// ProcessFromWire converts a message to a process that the settings list. Every
+// MemberFromWire converts a message to a process that the settings list. Every
 // field may be empty.
-func ProcessFromWire(w *wirepb.Member) model.Member {
+func MemberFromWire(w *wirepb.Member) model.Member {
 	return model.Member{
 		Name: model.Process(w.GetName()), Zone: model.Zone(w.GetZone()), Address: w.GetAddress(),
 	}
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// OpToWire converts an operation on the replicated job state to its message.
-func OpToWire(o jobs.Op) *wirepb.JobOp {
+// JobOpToWire converts an operation on the replicated job state to its message.
+func JobOpToWire(o jobs.Op) *wirepb.JobOp {
 	w := &wirepb.JobOp{
 		Kind: int32(o.Kind), Run: int64(o.Run), Worker: validUTF8(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
 		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: validUTF8(o.Machine),
@@ -129,10 +129,10 @@
 	return w
 }
 
-// OpFromWire converts a message to an operation on the replicated job state. It
+// JobOpFromWire converts a message to an operation on the replicated job state. It
 // returns an error if the kind or the result is not defined, or if a submitted
 // job is not valid. A missing configuration or wave gives an empty one.
-func OpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
+func JobOpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
 	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpMaintenanceStarted) {
 		return jobs.Op{}, jobError(KindRange, "operation has the undefined kind %d", w.GetKind())
 	}
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -78,9 +78,9 @@
 	return v
 }
 
-// JobsToWire converts the replicated job state to its message. Jobs are sorted
+// JobStateToWire converts the replicated job state to its message. Jobs are sorted
 // by id and waves by number, so that equal states give equal messages.
-func JobsToWire(s *jobs.State) *wirepb.JobsSnapshot {
+func JobStateToWire(s *jobs.State) *wirepb.JobsSnapshot {
 	w := &wirepb.JobsSnapshot{
 		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: mapAll(s.EndedJobs, validUTF8),
 	}
@@ -119,10 +119,10 @@
 	return w
 }
 
-// JobsFromWire converts a message to the replicated job state. A nil message
+// JobStateFromWire converts a message to the replicated job state. A nil message
 // gives an empty state. It returns an error if a job, its status or one of its
 // tasks is not valid.
-func JobsFromWire(w *wirepb.JobsSnapshot) (*jobs.State, error) {
+func JobStateFromWire(w *wirepb.JobsSnapshot) (*jobs.State, error) {
 	s := jobs.New()
 	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
 	s.Config = jobConfigFromWire(w.GetConfig())
--- a/io/proto/codec/raft.go
+++ b/io/proto/codec/raft.go
@@ -8,20 +8,20 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// EntryToWire converts a Raft log entry to its message.
-func EntryToWire(e raft.Entry) *wirepb.LogEntry {
+// LogEntryToWire converts a Raft log entry to its message.
+func LogEntryToWire(e raft.Entry) *wirepb.LogEntry {
 	return &wirepb.LogEntry{
 		Index:   e.Index,
 		Term:    e.Term,
 		Kind:    int32(e.Kind),
 		Data:    e.Data,
-		Members: mapAll(e.Members, MemberToWire),
+		Members: mapAll(e.Members, GroupMemberToWire),
 	}
 }
 
-// EntryFromWire converts a message to a Raft log entry. It returns an error if
+// LogEntryFromWire converts a message to a Raft log entry. It returns an error if
 // the kind is not defined or the index is 0; log indexes start at 1.
-func EntryFromWire(w *wirepb.LogEntry) (raft.Entry, error) {
+func LogEntryFromWire(w *wirepb.LogEntry) (raft.Entry, error) {
 	const op = "log entry"
 	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.EntryMembers)
 	if err != nil {
@@ -30,7 +30,7 @@
 	if w.GetIndex() == 0 {
 		return raft.Entry{}, &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("index is 0; indexes start at 1")}
 	}
-	members, err := tryMapAll(w.GetMembers(), MemberFromWire)
+	members, err := tryMapAll(w.GetMembers(), GroupMemberFromWire)
 	if err != nil {
 		return raft.Entry{}, err
 	}
@@ -43,8 +43,8 @@
 	}, nil
 }
 
-// MemberToWire converts a member of the Raft group to its message.
-func MemberToWire(m raft.Member) *wirepb.GroupMember {
+// GroupMemberToWire converts a member of the Raft group to its message.
+func GroupMemberToWire(m raft.Member) *wirepb.GroupMember {
 	return &wirepb.GroupMember{
 		Id:      uint64(m.ID),
 		Name:    validUTF8(m.Name),
@@ -54,9 +54,9 @@
 	}
 }
 
-// MemberFromWire converts a message to a member of the Raft group. It returns an
+// GroupMemberFromWire converts a message to a member of the Raft group. It returns an
 // error if the id is 0.
-func MemberFromWire(w *wirepb.GroupMember) (raft.Member, error) {
+func GroupMemberFromWire(w *wirepb.GroupMember) (raft.Member, error) {
 	if w.GetId() == 0 {
 		return raft.Member{}, &Error{Op: "group member", Kind: KindMissing, Err: fmt.Errorf("id is 0")}
 	}
@@ -82,22 +82,22 @@
 
 // SnapshotMetaToWire converts the metadata of a snapshot to its message.
 func SnapshotMetaToWire(m raft.SnapshotMeta) *wirepb.SnapshotMeta {
-	return &wirepb.SnapshotMeta{Index: m.Index, Term: m.Term, Members: mapAll(m.Members, MemberToWire)}
+	return &wirepb.SnapshotMeta{Index: m.Index, Term: m.Term, Members: mapAll(m.Members, GroupMemberToWire)}
 }
 
 // SnapshotMetaFromWire converts a message to the metadata of a snapshot. A nil
 // message gives the zero value, which stands for no snapshot.
 func SnapshotMetaFromWire(w *wirepb.SnapshotMeta) (raft.SnapshotMeta, error) {
-	members, err := tryMapAll(w.GetMembers(), MemberFromWire)
+	members, err := tryMapAll(w.GetMembers(), GroupMemberFromWire)
 	if err != nil {
 		return raft.SnapshotMeta{}, err
 	}
 	return raft.SnapshotMeta{Index: w.GetIndex(), Term: w.GetTerm(), Members: members}, nil
 }
 
-// MessageToWire converts a Raft message to its protobuf message. The metadata of
+// RaftMessageToWire converts a Raft message to its protobuf message. The metadata of
 // a snapshot is included only if it is not zero.
-func MessageToWire(m raft.Message) *wirepb.RaftMessage {
+func RaftMessageToWire(m raft.Message) *wirepb.RaftMessage {
 	w := &wirepb.RaftMessage{
 		Kind:    int32(m.Kind),
 		From:    uint64(m.From),
@@ -106,7 +106,7 @@
 		Index:   m.Index,
 		LogTerm: m.LogTerm,
 		Commit:  m.Commit,
-		Entries: mapAll(m.Entries, EntryToWire),
+		Entries: mapAll(m.Entries, LogEntryToWire),
 		Reject:  m.Reject,
 		Hint:    m.Hint,
 		Context: m.HeartbeatRound,
@@ -120,10 +120,10 @@
 	return w
 }
 
-// MessageFromWire converts a protobuf message to a Raft message. It returns an
+// RaftMessageFromWire converts a protobuf message to a Raft message. It returns an
 // error if the kind is not defined, the sender or the receiver is 0, or the
 // indexes of the entries are not consecutive.
-func MessageFromWire(w *wirepb.RaftMessage) (raft.Message, error) {
+func RaftMessageFromWire(w *wirepb.RaftMessage) (raft.Message, error) {
 	const op = "raft message"
 	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.MsgSnapshotReply)
 	if err != nil {
@@ -132,7 +132,7 @@
 	if w.GetFrom() == 0 || w.GetTo() == 0 {
 		return raft.Message{}, &Error{Op: op, Kind: KindMissing, Err: fmt.Errorf("sender or receiver is missing: from %d to %d", w.GetFrom(), w.GetTo())}
 	}
-	entries, err := tryMapAll(w.GetEntries(), EntryFromWire)
+	entries, err := tryMapAll(w.GetEntries(), LogEntryFromWire)
 	if err != nil {
 		return raft.Message{}, err
 	}
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -25,7 +25,7 @@
 		Maintenance: mapAll(valuesByKey(s.Maintenance), MaintenanceToWire),
 		Touches:     mapAll(s.TableChanges, tableChangeToWire),
 		Outages:     mapAll(s.Outages, OutageToWire),
-		Jobs:        JobsToWire(s.Jobs),
+		Jobs:        JobStateToWire(s.Jobs),
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.Incarnations)) {
 		w.Runs = append(w.Runs, &wirepb.ProcessRun{Process: validUTF8(p), Incarnation: s.Incarnations[p]})
@@ -129,7 +129,7 @@
 		}
 		s.Authors[a.GetName()] = fleet.Author{Name: a.GetAuthor(), Version: model.Version(a.GetVersion())}
 	}
-	s.Jobs, err = JobsFromWire(w.GetJobs())
+	s.Jobs, err = JobStateFromWire(w.GetJobs())
 	return s, err
 }
 
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -103,7 +103,7 @@
 		if next.Index > e.Index {
 			m.Entries = []raft.Entry{e, next}
 		}
-		m2, err := MessageFromWire(MessageToWire(m))
+		m2, err := RaftMessageFromWire(RaftMessageToWire(m))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, m2, m)
 
@@ -111,9 +111,9 @@
 		assert.Equal(t, HardStateFromWire(HardStateToWire(h)), h)
 	})
 	m := raft.Message{Kind: raft.MsgAppend, From: 1, To: 2, Entries: []raft.Entry{{Index: 3}, {Index: 5}}}
-	_, err := MessageFromWire(MessageToWire(m))
+	_, err := RaftMessageFromWire(RaftMessageToWire(m))
 	assert.ErrorContains(t, err, "entry 5 follows entry 3")
-	_, err = MessageFromWire(nil)
+	_, err = RaftMessageFromWire(nil)
 	assert.ErrorContains(t, err, "from 0 to 0")
 }
 
@@ -168,9 +168,9 @@
 	gen := func(t *rapid.T) raft.Message {
 		return raft.Message{Kind: raft.MsgAppend, From: 1, To: 2, Entries: []raft.Entry{anyEntry(t)}}
 	}
-	enc := func(m raft.Message) []byte { return encode(MessageToWire(m)) }
+	enc := func(m raft.Message) []byte { return encode(RaftMessageToWire(m)) }
 	fuzzDecoder(f, exampleSeeds(gen, enc), enc, func(b []byte) (raft.Message, error) {
-		return decode("raft message", b, &wirepb.RaftMessage{}, MessageFromWire)
+		return decode("raft message", b, &wirepb.RaftMessage{}, RaftMessageFromWire)
 	})
 }
 
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -189,7 +189,7 @@
 func (c *Client) step(ctx context.Context, address string, all []raft.Message) error {
 	req := &wirepb.StepRequest{Stamp: c.stamp()}
 	for _, m := range all {
-		req.Messages = append(req.Messages, codec.MessageToWire(m))
+		req.Messages = append(req.Messages, codec.RaftMessageToWire(m))
 	}
 	resp, err := c.remote(address).consensus.Step(ctx, req)
 	if err != nil {
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -26,7 +26,7 @@
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	all := make([]raft.Message, 0, len(r.GetMessages()))
 	for _, w := range r.GetMessages() {
-		m, err := codec.MessageFromWire(w)
+		m, err := codec.RaftMessageFromWire(w)
 		if err != nil {
 			return nil, twirp.InvalidArgumentError("messages", err.Error())
 		}
@@ -47,7 +47,7 @@
 		Stamp: codec.StampToWire(s.Stamps.Next()),
 	}
 	for _, m := range h.Founders {
-		w.Founders = append(w.Founders, codec.MemberToWire(m))
+		w.Founders = append(w.Founders, codec.GroupMemberToWire(m))
 	}
 	return w, nil
 }
@@ -63,14 +63,14 @@
 		Name: model.Process(resp.GetName()), ID: raft.MemberID(resp.GetId()),
 		Initialised: resp.GetInitialised(),
 	}
-	h.Founders, err = convertAll(resp.GetFounders(), codec.MemberFromWire)
+	h.Founders, err = convertAll(resp.GetFounders(), codec.GroupMemberFromWire)
 	return h, err
 }
 
 // Join adds a process to the group if this member is the leader.
 func (s *ConsensusServer[G]) Join(ctx context.Context, r *wirepb.JoinRequest) (*wirepb.JoinResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	m, err := codec.MemberFromWire(r.GetMember())
+	m, err := codec.GroupMemberFromWire(r.GetMember())
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("member", err.Error())
 	}
@@ -91,7 +91,7 @@
 	for _, m := range members {
 		for address, hops := m.Address, 0; address != "" && hops < 2; hops++ {
 			_, err := c.remote(address).consensus.Join(ctx, &wirepb.JoinRequest{
-				Member: codec.MemberToWire(self), Stamp: c.stamp(),
+				Member: codec.GroupMemberToWire(self), Stamp: c.stamp(),
 			})
 			if err == nil {
 				return nil
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -247,10 +247,10 @@
 	}
 	fillMover(w, s.Mover.Status(ctx))
 	for _, m := range s.Controls {
-		w.Controls = append(w.Controls, codec.ProcessToWire(m))
+		w.Controls = append(w.Controls, codec.MemberToWire(m))
 	}
 	for _, m := range s.Entries {
-		w.Entries = append(w.Entries, codec.ProcessToWire(m))
+		w.Entries = append(w.Entries, codec.MemberToWire(m))
 	}
 	return w, nil
 }
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -68,10 +68,10 @@
 		})
 	}
 	for _, m := range w.GetControls() {
-		o.Controls = append(o.Controls, codec.ProcessFromWire(m))
+		o.Controls = append(o.Controls, codec.MemberFromWire(m))
 	}
 	for _, m := range w.GetEntries() {
-		o.Entries = append(o.Entries, codec.ProcessFromWire(m))
+		o.Entries = append(o.Entries, codec.MemberFromWire(m))
 	}
 	for _, x := range w.GetWaits() {
 		o.Waits = append(o.Waits, WaitOverview{
