Reword codec's comments and state the limits in its errors

Read badly: 'functions named ToWire', 'the state of the request that holds the key', 'fields of other kinds', loan requests as 'requests for loans'; doc comments that left out which checks fail; the errors 'step 0 has 5 tasks' and 'job a has 2 occurrences of 9 tasks', which did not say what was wrong, and 'table change of version 3 follows version 5; the table has version 9', which mixed two faults. TestStateRoundTrip claimed to check every part of the state although two maps stay empty, and anyChange did not say which fields it leaves empty.

Now the comments name the fields and the checks, and the errors end with what is allowed.

--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -18,8 +18,9 @@
 }
 
 // CallFromWire converts a message to a call about jobs. It returns an error if
-// the kind is not defined or a submitted job is not valid. A job is submitted
-// under the id in the path or the JobID of the call, not under the id of the job.
+// the kind is not defined or a submitted job is not valid. A submitted
+// job gets its ID from the Path or the JobID of the call; the ID in the job itself
+// is not used.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
 	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
 	if err != nil {
@@ -47,7 +48,8 @@
 }
 
 // AnswerFromWire converts a message to the answer to a call about jobs. It
-// returns an error if the kind or the status of a job is not defined.
+// returns an error if the kind of the answer or the status of a job is not
+// defined.
 func AnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
 	kind, err := enumFromWire("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
 	if err != nil {
@@ -103,7 +105,7 @@
 		}),
 		Runs: mapAll(r.Runs, func(run sched.RunReport) *wirepb.JobRunReport {
 			return &wirepb.JobRunReport{
-				Task: taskToWire(run.Task), Run: int64(run.Run), Worker: validUTF8(run.Worker), Percent: int64(run.Percent),
+				Task: taskIDToWire(run.Task), Run: int64(run.Run), Worker: validUTF8(run.Worker), Percent: int64(run.Percent),
 				StartedMs: int64(run.StartedAt), Stopping: validUTF8(run.StopReason),
 			}
 		}),
@@ -127,7 +129,7 @@
 	}
 	for _, run := range w.GetRuns() {
 		r.Runs = append(r.Runs, sched.RunReport{
-			Task: taskFromWire(run.GetTask()), Run: int(run.GetRun()), Worker: jobs.WorkerID(run.GetWorker()), Percent: int(run.GetPercent()),
+			Task: taskIDFromWire(run.GetTask()), Run: int(run.GetRun()), Worker: jobs.WorkerID(run.GetWorker()), Percent: int(run.GetPercent()),
 			StartedAt: clock.Millis(run.GetStartedMs()), StopReason: run.GetStopping(),
 		})
 	}
--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -12,7 +12,7 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// TestCallRoundTrip checks that no part of a call about jobs or of its answer is
+// TestCallRoundTrip checks that no field of a call about jobs or of its answer is
 // lost between an operator or an entry process and the leader.
 func TestCallRoundTrip(t *testing.T) {
 	for _, c := range []runner.Call{
@@ -45,7 +45,7 @@
 }
 
 // TestUndefinedCallValuesAreRejected checks that kinds and statuses that this
-// release does not define are rejected rather than taken for other values.
+// release does not define are rejected.
 func TestUndefinedCallValuesAreRejected(t *testing.T) {
 	_, err := CallFromWire(&wirepb.WorkCall{Kind: int32(runner.CallList) + 1})
 	assert.ErrorContains(t, err, "kind")
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -6,8 +6,8 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// ChangeToWire converts a change to its message: the fields that all kinds
-// share and those of the change's kind. Fields of other kinds are not sent.
+// ChangeToWire converts a change to its message. It sets the fields that all
+// kinds of change share and those that the kind of c uses; the others stay empty.
 func ChangeToWire(c model.Change) *wirepb.Change {
 	w := &wirepb.Change{
 		Kind:    int32(c.Kind),
@@ -40,8 +40,8 @@
 }
 
 // ChangeFromWire converts a message to a change. It returns an error if the kind
-// is not defined or a name in the fields of that kind is empty. Fields of other
-// kinds are ignored.
+// is not defined or a field that the kind uses is not valid. Fields that the kind
+// does not use are ignored.
 func ChangeFromWire(w *wirepb.Change) (model.Change, error) {
 	kind, err := enumFromWire("change", "kind", w.GetKind(), model.ChangeJobs)
 	if err != nil {
@@ -178,7 +178,7 @@
 }
 
 // ClaimAnswerFromWire converts a message to the answer to a claim. It returns an
-// error if the state of the request that holds the key is not defined.
+// error if the state of the request that already holds the key is not defined.
 func ClaimAnswerFromWire(w *wirepb.ClaimAnswer) (model.ClaimAnswer, error) {
 	first, err := enumFromWire("claim answer", "first", w.GetFirst(), model.ClaimUnknown)
 	if err != nil {
--- a/io/proto/codec/change_test.go
+++ b/io/proto/codec/change_test.go
@@ -9,17 +9,17 @@
 	"pgregory.net/rapid"
 )
 
-// fillName sets a required name that is empty.
+// fillName gives *s a value if it is empty, for fields that must not be empty.
 func fillName[S ~string](s *S) {
 	if *s == "" {
 		*s = "n"
 	}
 }
 
-// wrapEnum wraps *e into the range from 0 to last, the defined values.
+// wrapEnum maps *e to one of the defined values, 0 to last.
 func wrapEnum[E ~int](e *E, last E) { *e = E(uint(*e) % uint(last+1)) }
 
-// upToThree generates a slice of 0 to 3 items with g; it is nil if empty.
+// upToThree generates a slice of 0 to 3 items with g. An empty slice is nil.
 func upToThree[V any](t *rapid.T, g func(*rapid.T) V) []V {
 	var out []V
 	for range rapid.IntRange(0, 3).Draw(t, "n") {
@@ -58,6 +58,9 @@
 	return k
 }
 
+// anyChange generates a change of any kind but ChangeJobs, which
+// TestJobsChangeRoundTrip covers. The note, and the process and the incarnation of
+// ChangeClaims, stay empty.
 func anyChange(t *rapid.T) model.Change {
 	all := rapid.Make[model.Change]().Draw(t, "change")
 	c := model.Change{Kind: all.Kind, Time: all.Time, Request: all.Request, Author: all.Author, Base: all.Base}
@@ -142,8 +145,8 @@
 }
 
 // TestInvalidChangesAreRejected checks that messages with an undefined enumeration
-// value or without a required name are not decoded. The code that takes decisions
-// relies on both.
+// value or an empty required field are not decoded. The rest of the system does not
+// check either again.
 func TestInvalidChangesAreRejected(t *testing.T) {
 	valid := model.Instance{ID: "i", Zone: "z", Pool: "p"}
 	step := func(i model.Instance) model.Change {
--- a/io/proto/codec/codec.go
+++ b/io/proto/codec/codec.go
@@ -34,16 +34,16 @@
 // equal bytes.
 func (Codec) EncodeState(s *fleet.State) []byte { return encode(StateToWire(s)) }
 
-// DecodeState is the inverse of EncodeState. The decoded state gives the same
-// result for every later change as the encoded one, because the order and the
-// times by which results and claims expire are restored too.
+// DecodeState is the inverse of EncodeState. Every later change has the same
+// result on the decoded state as on the encoded one, because the order and the
+// times in which results and claims expire are restored too.
 func (Codec) DecodeState(b []byte) (*fleet.State, error) {
 	return decode("state", b, &wirepb.FleetSnapshot{}, StateFromWire)
 }
 
-// encode returns the deterministic protobuf encoding of m. Marshalling cannot
-// fail: the ToWire functions make every string valid UTF-8, and no message has a
-// required field.
+// encode returns the deterministic protobuf encoding of m. Marshalling does not
+// fail, because the ToWire functions make every string valid UTF-8 and no message
+// has a required field.
 func encode(m proto.Message) []byte {
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
@@ -52,8 +52,8 @@
 	return b
 }
 
-// decode parses b into m and converts m with from. op names the message in
-// errors.
+// decode parses b into m and converts m to a value with from. Errors name the
+// message as op.
 func decode[M proto.Message, V any](op string, b []byte, m M, from func(M) (V, error)) (V, error) {
 	if err := proto.Unmarshal(b, m); err != nil {
 		var zero V
--- a/io/proto/codec/convert.go
+++ b/io/proto/codec/convert.go
@@ -2,9 +2,10 @@
 
 import "strings"
 
-// validUTF8 returns s with each run of invalid UTF-8 replaced by U+FFFD. Protobuf
+// validUTF8 returns s with each run of invalid UTF-8 replaced by U+FFFD: protobuf
 // rejects strings that are not UTF-8, and encoding must not fail. Idempotency
-// keys, which callers choose freely, are sent as bytes instead.
+// keys, job specifications and checkpoints, which need not be UTF-8, are sent as
+// bytes instead.
 func validUTF8[S ~string](s S) string {
 	return strings.ToValidUTF8(string(s), "\uFFFD")
 }
--- a/io/proto/codec/doc.go
+++ b/io/proto/codec/doc.go
@@ -2,8 +2,8 @@
 // package wirepb, with handwritten code, for messages between processes and for
 // stored records.
 //
-// Functions named ToWire return the message of a value and never fail. Functions
-// named FromWire return the value of a message; they check required names and
-// enumeration values, so that the code that takes decisions can rely on them.
-// Decoding never panics on arbitrary bytes.
+// Functions whose names end in ToWire convert a value to its message and never
+// fail. Functions whose names end in FromWire convert a message to a value; they
+// check required names and enumeration values, so that the rest of the system
+// need not check them again. Decoding must not panic on any input.
 package codec
--- a/io/proto/codec/errors.go
+++ b/io/proto/codec/errors.go
@@ -27,13 +27,13 @@
 
 // Error is the error type that every decoder of the package returns.
 type Error struct {
-	// Op names the message that was being decoded.
+	// Op names the type of message that was being decoded.
 	Op   string
 	Kind Kind
 	Err  error
 }
 
-// Error returns the name of the message, the kind and the cause.
+// Error returns the name of the message, the reason and the cause.
 func (e *Error) Error() string {
 	return fmt.Sprintf("codec: %s: %s: %v", e.Op, e.Kind, e.Err)
 }
@@ -52,9 +52,9 @@
 	return nil
 }
 
-// enumFromWire converts a number to an enumeration with the values 0 to last. It
-// returns an error for any other number, such as a value that a newer release
-// defines.
+// enumFromWire converts a number to a value of an enumeration that defines the
+// values 0 to last. It returns an error for any other number, such as a value that
+// only a newer release defines.
 func enumFromWire[E ~int | ~uint8](op, field string, n int32, last E) (E, error) {
 	if n < 0 || int64(n) > int64(last) {
 		return 0, &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("%s is %d; allowed: 0 to %d", field, n, last)}
--- a/io/proto/codec/event.go
+++ b/io/proto/codec/event.go
@@ -43,12 +43,12 @@
 	}, nil
 }
 
-// MemberToWire converts a process that the settings list to its message.
+// MemberToWire converts a process named in the settings to its message.
 func MemberToWire(m model.Member) *wirepb.Member {
 	return &wirepb.Member{Name: validUTF8(m.Name), Zone: validUTF8(m.Zone), Address: validUTF8(m.Address)}
 }
 
-// MemberFromWire converts a message to a process that the settings list. Every
+// MemberFromWire converts a message to a process named in the settings. Every
 // field may be empty.
 func MemberFromWire(w *wirepb.Member) model.Member {
 	return model.Member{
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -8,9 +8,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// maxDecodedTasks limits the tasks of a decoded job over all its occurrences, so
-// that a malformed record cannot make a process allocate memory without limit. It
-// is above jobs.MaxTasks, the limit for a job file.
+// maxDecodedTasks is the largest number of tasks of a decoded job, summed over its
+// occurrences. It prevents a malformed record from making the process allocate
+// memory without limit. It is above jobs.MaxTasks, the limit for a job file.
 const maxDecodedTasks = 100_000
 
 // JobToWire converts a job to its message. The specification is sent as bytes,
@@ -26,8 +26,9 @@
 }
 
 // JobFromWire converts a message to a job. It returns an error if the id is
-// empty, there are no steps, a step has no tasks or depends on itself or a later
-// step, or the job has more than maxDecodedTasks tasks.
+// empty, there are no steps, a step has no tasks, a step depends on itself or on a
+// later step, or the job has more than maxDecodedTasks tasks over all
+// occurrences.
 func JobFromWire(w *wirepb.Job) (jobs.Job, error) {
 	if err := required("job", "id", w.GetId()); err != nil {
 		return jobs.Job{}, err
@@ -42,7 +43,7 @@
 	for i, s := range w.GetSteps() {
 		totalTasks += s.GetCount()
 		if s.GetCount() < 1 || totalTasks > maxDecodedTasks {
-			return j, jobError(KindRange, "step %d has %d tasks", i, s.GetCount())
+			return j, jobError(KindRange, "step %d has %d tasks; allowed: at least 1, and at most %d in all steps together", i, s.GetCount(), maxDecodedTasks)
 		}
 		for _, dependency := range s.GetAfter() {
 			if dependency < 0 || dependency >= int64(i) {
@@ -55,13 +56,13 @@
 		return j, jobError(KindMissing, "job %s has no steps", j.ID)
 	}
 	if j.OccurrenceCount < 0 || int64(j.OccurrenceCount)*totalTasks > maxDecodedTasks {
-		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks", j.ID, j.OccurrenceCount, totalTasks)
+		return j, jobError(KindRange, "job %s has %d occurrences of %d tasks; allowed: at least 0 occurrences, and at most %d tasks in all of them together", j.ID, j.OccurrenceCount, totalTasks, maxDecodedTasks)
 	}
 	return j, nil
 }
 
-// jobError returns an Error for a job, its record or an operation on the job
-// state.
+// jobError returns an Error for a job, the record of a job or an operation on the
+// job state.
 func jobError(kind Kind, format string, args ...any) error {
 	return &Error{Op: "job", Kind: kind, Err: fmt.Errorf(format, args...)}
 }
@@ -98,11 +99,11 @@
 	return s
 }
 
-func taskToWire(t jobs.TaskID) *wirepb.JobTask {
+func taskIDToWire(t jobs.TaskID) *wirepb.JobTask {
 	return &wirepb.JobTask{Job: validUTF8(t.Job), Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
 }
 
-func taskFromWire(w *wirepb.JobTask) jobs.TaskID {
+func taskIDFromWire(w *wirepb.JobTask) jobs.TaskID {
 	return jobs.TaskID{
 		Job: jobs.ID(w.GetJob()), Occurrence: int(w.GetOccurrence()), Step: int(w.GetStep()), Index: int(w.GetIndex()),
 	}
@@ -115,7 +116,7 @@
 		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: validUTF8(o.Machine),
 	}
 	if o.Task != (jobs.TaskID{}) {
-		w.Task = taskToWire(o.Task)
+		w.Task = taskIDToWire(o.Task)
 	}
 	if o.Job != nil {
 		w.Job = JobToWire(*o.Job)
@@ -131,7 +132,8 @@
 
 // JobOpFromWire converts a message to an operation on the replicated job state. It
 // returns an error if the kind or the result is not defined, or if a submitted
-// job is not valid. A missing configuration or wave gives an empty one.
+// job is not valid. If the kind requires a configuration or a wave and the message
+// has none, the operation has an empty one.
 func JobOpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
 	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpMaintenanceStarted) {
 		return jobs.Op{}, jobError(KindRange, "operation has the undefined kind %d", w.GetKind())
@@ -140,7 +142,7 @@
 		return jobs.Op{}, jobError(KindRange, "operation has the undefined result %d", w.GetHow())
 	}
 	o := jobs.Op{
-		Kind: jobs.OpKind(w.GetKind()), Task: taskFromWire(w.GetTask()), Run: int(w.GetRun()),
+		Kind: jobs.OpKind(w.GetKind()), Task: taskIDFromWire(w.GetTask()), Run: int(w.GetRun()),
 		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Result: jobs.Result(w.GetHow()),
 		Checkpoint: string(w.GetSaved()), WaveNumber: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
 	}
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -55,8 +55,8 @@
 	return o
 }
 
-// TestJobsChangeRoundTrip checks that no part of an operation is lost when it is
-// encoded for the log and decoded.
+// TestJobsChangeRoundTrip checks that no part of an operation on the job state is
+// lost when its change is encoded for the log and decoded.
 func TestJobsChangeRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := model.Change{Kind: model.ChangeJobs, Time: 5, Ops: upToThree(t, anyOp)}
@@ -67,7 +67,7 @@
 }
 
 // TestInvalidJobsAreRejected checks that jobs are not decoded if they cannot be
-// scheduled or would make a process allocate memory without limit.
+// scheduled or have so many tasks that they would exhaust the memory of a process.
 func TestInvalidJobsAreRejected(t *testing.T) {
 	step := jobs.Step{TaskCount: 1}
 	cases := []struct {
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -85,7 +85,7 @@
 		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: mapAll(s.EndedJobs, validUTF8),
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
-		w.Records = append(w.Records, recordToWire(s.Jobs[id]))
+		w.Records = append(w.Records, jobRecordToWire(s.Jobs[id]))
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.Waves)) {
 		w.Waves = append(w.Waves, waveToWire(s.Waves[n]))
@@ -93,10 +93,10 @@
 	return w
 }
 
-// recordToWire converts the record of a job to its message. Only tasks whose
-// state differs from the initial one are sent; At is the position of such a task
-// among all tasks of its occurrence.
-func recordToWire(r *jobs.Record) *wirepb.JobRecord {
+// jobRecordToWire converts the record of a job to its message. The message holds only
+// the tasks whose state differs from the initial one; At is the position of such a
+// task, counted from 0 over all steps of its occurrence.
+func jobRecordToWire(r *jobs.Record) *wirepb.JobRecord {
 	w := &wirepb.JobRecord{
 		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.EverAssigned, EndedMs: int64(r.EndedAt),
 	}
@@ -130,7 +130,7 @@
 		s.EndedJobs = append(s.EndedJobs, jobs.ID(id))
 	}
 	for _, wireRecord := range w.GetRecords() {
-		r, err := recordFromWire(wireRecord)
+		r, err := jobRecordFromWire(wireRecord)
 		if err != nil {
 			return nil, err
 		}
@@ -142,9 +142,9 @@
 	return s, nil
 }
 
-// recordFromWire converts a message to the record of a job. Tasks that are not in
+// jobRecordFromWire converts a message to the record of a job. Tasks that are not in
 // the message keep their initial state.
-func recordFromWire(w *wirepb.JobRecord) (*jobs.Record, error) {
+func jobRecordFromWire(w *wirepb.JobRecord) (*jobs.Record, error) {
 	j, err := JobFromWire(w.GetJob())
 	if err != nil {
 		return nil, err
@@ -155,7 +155,7 @@
 	r := jobs.NewRecord(j, w.GetSeq())
 	r.Status, r.EverAssigned, r.EndedAt = jobs.Status(w.GetStatus()), w.GetStarted(), clock.Millis(w.GetEndedMs())
 	if len(w.GetOccurrences()) != len(r.Occurrences) {
-		return nil, jobError(KindRange, "job %s has the records of %d occurrences; its definition has %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
+		return nil, jobError(KindRange, "the record of job %s has %d occurrences; the job defines %d", j.ID, len(w.GetOccurrences()), len(r.Occurrences))
 	}
 	for i, occurrence := range w.GetOccurrences() {
 		for _, task := range occurrence.GetTasks() {
@@ -168,8 +168,9 @@
 	return r, nil
 }
 
-// restoreTask sets the state of one task in the given occurrence of the record. The
-// position in the message counts the tasks over all steps of the occurrence.
+// restoreTask sets the state of one task in the given occurrence of r. It returns
+// an error if the phase is not defined or the occurrence has no task at the
+// position in the message.
 func restoreTask(r *jobs.Record, occurrence int, w *wirepb.JobTaskState) error {
 	if w.GetPhase() < 0 || w.GetPhase() > int32(jobs.PhaseDone) {
 		return jobError(KindRange, "a task of job %s has the undefined phase %d", r.ID, w.GetPhase())
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -9,26 +9,27 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Largest values that are accepted in messages about loans.
+// Limits on the values of messages about loans.
 const (
-	// maxLoanSlots limits the slots and the connections of a request or a loan.
+	// maxLoanSlots is the largest number of slots or connections in a request or a
+	// loan.
 	maxLoanSlots = 1 << 16
-	// maxLoanTime limits the lease and the maximum request time.
+	// maxLoanTime is the longest lease and the longest maximum request time.
 	maxLoanTime = clock.Hour
 )
 
-// LoanRequestToWire converts a request for loans of upstream slots to its
+// LoanRequestToWire converts a request to borrow or renew upstream slots to its
 // message.
 func LoanRequestToWire(r lend.LoanRequest) *wirepb.LendRequest {
 	return &wirepb.LendRequest{
 		Borrower: validUTF8(r.Borrower), Incarnation: r.Incarnation, Number: r.Number, Pool: validUTF8(r.Pool),
-		Slots: int64(r.Slots), Renew: mapAll(r.Renew, idToWire), HoldMs: int64(r.MaxRequestTime),
+		Slots: int64(r.Slots), Renew: mapAll(r.Renew, loanIDToWire), HoldMs: int64(r.MaxRequestTime),
 	}
 }
 
-// LoanRequestFromWire converts a message to a request for loans. It returns an
-// error if the borrower or the pool is empty, or if the slots or the maximum
-// request time are out of range.
+// LoanRequestFromWire converts a message to a request to borrow or renew slots. It
+// returns an error if the borrower or the pool is empty, or if the number of slots
+// or the maximum request time is out of range.
 func LoanRequestFromWire(w *wirepb.LendRequest) (lend.LoanRequest, error) {
 	const op = "loan request"
 	err := firstError(
@@ -41,7 +42,7 @@
 	}
 	return lend.LoanRequest{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(), Number: w.GetNumber(),
-		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: mapAll(w.GetRenew(), idFromWire),
+		Pool: model.Pool(w.GetPool()), Slots: int(w.GetSlots()), Renew: mapAll(w.GetRenew(), loanIDFromWire),
 		MaxRequestTime: clock.Millis(w.GetHoldMs()),
 	}, nil
 }
@@ -50,7 +51,7 @@
 func LoanResponseToWire(r lend.LoanResponse) *wirepb.LendResponse {
 	return &wirepb.LendResponse{
 		Incarnation: r.Incarnation, LeaseMs: int64(r.Lease),
-		Loans: mapAll(r.Loans, loanToWire), Renewed: mapAll(r.Renewed, idToWire),
+		Loans: mapAll(r.Loans, loanToWire), Renewed: mapAll(r.Renewed, loanIDToWire),
 	}
 }
 
@@ -64,14 +65,14 @@
 	loans, err := tryMapAll(w.GetLoans(), loanFromWire)
 	return lend.LoanResponse{
 		Incarnation: w.GetIncarnation(), Lease: clock.Millis(w.GetLeaseMs()),
-		Loans: loans, Renewed: mapAll(w.GetRenewed(), idFromWire),
+		Loans: loans, Renewed: mapAll(w.GetRenewed(), loanIDFromWire),
 	}, err
 }
 
 // ReturnToWire converts the return of loans to its message.
 func ReturnToWire(r lend.Return) *wirepb.ReturnRequest {
 	return &wirepb.ReturnRequest{
-		Borrower: validUTF8(r.Borrower), Incarnation: r.Incarnation, Ids: mapAll(r.IDs, idToWire),
+		Borrower: validUTF8(r.Borrower), Incarnation: r.Incarnation, Ids: mapAll(r.IDs, loanIDToWire),
 	}
 }
 
@@ -79,11 +80,11 @@
 func ReturnFromWire(w *wirepb.ReturnRequest) lend.Return {
 	return lend.Return{
 		Borrower: model.Process(w.GetBorrower()), Incarnation: w.GetIncarnation(),
-		IDs: mapAll(w.GetIds(), idFromWire),
+		IDs: mapAll(w.GetIds(), loanIDFromWire),
 	}
 }
 
-// RecallToWire converts a lender's recall of its loans to its message.
+// RecallToWire converts a lender's recall of its loans to a message.
 func RecallToWire(r lend.Recall) *wirepb.RecallRequest {
 	return &wirepb.RecallRequest{Lender: validUTF8(r.Lender), Incarnation: r.Incarnation}
 }
@@ -101,8 +102,9 @@
 	}
 }
 
-// loanFromWire converts a message to a loan. A loan has at least one slot, and at
-// least as many connections as slots.
+// loanFromWire converts a message to a loan. It returns an error if the instance,
+// the pool or the address is empty, the loan has no slot, or it has fewer
+// connections than slots.
 func loanFromWire(w *wirepb.Loan) (lend.Loan, error) {
 	const op = "loan"
 	err := firstError(
@@ -120,8 +122,8 @@
 	}, nil
 }
 
-func idToWire(id lend.ID) uint64   { return uint64(id) }
-func idFromWire(id uint64) lend.ID { return lend.ID(id) }
+func loanIDToWire(id lend.ID) uint64   { return uint64(id) }
+func loanIDFromWire(id uint64) lend.ID { return lend.ID(id) }
 
 // checkRange returns an error if n is below lo or above hi.
 func checkRange(op, field string, n, lo, hi int64) error {
@@ -131,7 +133,7 @@
 	return nil
 }
 
-// firstError returns the first error that is not nil.
+// firstError returns the first error that is not nil, or nil if there is none.
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/io/proto/codec/loan_test.go
+++ b/io/proto/codec/loan_test.go
@@ -9,9 +9,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// TestLoanRoundTrip checks that no field of the messages about loans is lost, and
-// that loans without a slot or with fewer connections than slots are rejected, as
-// are requests for a negative number of slots.
+// TestLoanRoundTrip checks that no field of the messages about loans is lost. It
+// also checks that loans without a name, without a slot or with fewer connections
+// than slots are rejected, and requests for a negative number of slots.
 func TestLoanRoundTrip(t *testing.T) {
 	request := lend.LoanRequest{Borrower: "e1", Incarnation: 2, Number: 3, Pool: "p", Slots: 4, Renew: []lend.ID{5, 6}, MaxRequestTime: 7}
 	request2, err := LoanRequestFromWire(LoanRequestToWire(request))
--- a/io/proto/codec/model.go
+++ b/io/proto/codec/model.go
@@ -28,8 +28,8 @@
 }
 
 // ContractFromWire converts a message to a contract. It returns an error if the
-// customer or the name of a pool is empty, or if the covered failure domain is
-// not defined.
+// customer or the name of a pool is empty, or if the failure domain that the
+// contract covers is not defined.
 func ContractFromWire(w *wirepb.Contract) (model.Contract, error) {
 	const op = "contract"
 	if err := required(op, "customer", w.GetCustomer()); err != nil {
--- a/io/proto/codec/raft.go
+++ b/io/proto/codec/raft.go
@@ -54,11 +54,11 @@
 	}
 }
 
-// GroupMemberFromWire converts a message to a member of the Raft group. It returns an
-// error if the id is 0.
+// GroupMemberFromWire converts a message to a member of the Raft group. It returns
+// an error if the id is 0.
 func GroupMemberFromWire(w *wirepb.GroupMember) (raft.Member, error) {
 	if w.GetId() == 0 {
-		return raft.Member{}, &Error{Op: "group member", Kind: KindMissing, Err: fmt.Errorf("id is 0")}
+		return raft.Member{}, &Error{Op: "group member", Kind: KindMissing, Err: fmt.Errorf("id is 0; ids are greater than 0")}
 	}
 	return raft.Member{
 		ID:      raft.MemberID(w.GetId()),
@@ -95,8 +95,8 @@
 	return raft.SnapshotMeta{Index: w.GetIndex(), Term: w.GetTerm(), Members: members}, nil
 }
 
-// RaftMessageToWire converts a Raft message to its protobuf message. The metadata of
-// a snapshot is included only if it is not zero.
+// RaftMessageToWire converts a Raft message to its protobuf message. Snapshot
+// metadata is included only if it is not zero.
 func RaftMessageToWire(m raft.Message) *wirepb.RaftMessage {
 	w := &wirepb.RaftMessage{
 		Kind:    int32(m.Kind),
@@ -121,8 +121,8 @@
 }
 
 // RaftMessageFromWire converts a protobuf message to a Raft message. It returns an
-// error if the kind is not defined, the sender or the receiver is 0, or the
-// indexes of the entries are not consecutive.
+// error if the kind is not defined, the ID of the sender or the receiver is 0, or
+// the indexes of the entries are not consecutive.
 func RaftMessageFromWire(w *wirepb.RaftMessage) (raft.Message, error) {
 	const op = "raft message"
 	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.MsgSnapshotReply)
--- a/io/proto/codec/size_test.go
+++ b/io/proto/codec/size_test.go
@@ -35,8 +35,8 @@
 }
 
 // BenchmarkStateSize reports the bytes per instance in memory, in a snapshot and
-// in a full table, and the bytes of the delta that one change of an instance
-// sends.
+// in a delta of the full table, and the size of the delta for the change of one
+// instance.
 func BenchmarkStateSize(b *testing.B) {
 	for _, n := range []int{500, 5100} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -12,9 +12,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// StateToWire converts the replicated state to its message. Maps are written in
-// the order of their keys, and results and claims in the order in which they
-// expire, so that equal states give equal messages.
+// StateToWire converts the replicated state to its message. The elements of a map
+// are written in the order of their keys, and results and claims in the order in
+// which they expire, so that equal states give equal messages.
 func StateToWire(s *fleet.State) *wirepb.FleetSnapshot {
 	w := &wirepb.FleetSnapshot{
 		Index:       uint64(s.Index),
@@ -97,7 +97,7 @@
 	var lastVersion uint64
 	for _, t := range w.GetTouches() {
 		if t.GetVersion() < lastVersion || t.GetVersion() > w.GetVersion() {
-			return nil, stateError(KindRange, "table change of version %d follows version %d; the table has version %d", t.GetVersion(), lastVersion, s.Version)
+			return nil, stateError(KindRange, "a table change has version %d; allowed: %d, the version of the change before it, to %d, the version of the table", t.GetVersion(), lastVersion, s.Version)
 		}
 		lastVersion = t.GetVersion()
 		s.TableChanges = append(s.TableChanges, fleet.TableChange{
@@ -164,9 +164,9 @@
 	return nil
 }
 
-// restoreResults adds the results to s in the order of the message, oldest
-// first, because the entries of an ExpiringMap expire in the order of the calls
-// of Put.
+// restoreResults adds the results to s in the order of the message, oldest first,
+// because the entries of an ExpiringMap expire in the order in which Put
+// added them.
 func restoreResults(s *fleet.State, w *wirepb.FleetSnapshot) error {
 	var lastTime clock.Millis
 	for n, m := range w.GetResults() {
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -17,7 +17,7 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// entriesOf returns the keys, values and times of a map, oldest first.
+// entriesOf returns the keys, values and times of m, oldest first, as text.
 func entriesOf[K comparable, V any](m *fleet.ExpiringMap[K, V]) []string {
 	var out []string
 	m.Each(func(k K, v V, t clock.Millis) { out = append(out, fmt.Sprintf("%q %+v %d", fmt.Sprint(k), v, t)) })
@@ -48,8 +48,9 @@
 	return s
 }
 
-// TestStateRoundTrip checks that a snapshot keeps every part of the state, and
-// the order and the times by which results and claims expire.
+// TestStateRoundTrip checks that a snapshot keeps every part of the state that
+// anyState generates, and the order and the times in which results and claims
+// expire.
 func TestStateRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := anyState(t)
@@ -83,9 +84,9 @@
 	return e
 }
 
-// TestRaftRoundTrip checks that no field of the Raft messages, log entries and
-// durable state is lost, and that messages with gaps between entries or without a
-// sender are rejected.
+// TestRaftRoundTrip checks that no field of Raft messages, log entries and the
+// durable Raft state is lost. It also checks that messages with a gap between
+// entries or without a sender are rejected.
 func TestRaftRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := anyEntry(t)
@@ -117,9 +118,9 @@
 	assert.ErrorContains(t, err, "from 0 to 0")
 }
 
-// fuzzDecoder passes arbitrary bytes to a decoder. It fails on a panic, on an
-// error that is not an *Error, and on a decoded value that differs after being
-// encoded and decoded once more.
+// fuzzDecoder passes arbitrary bytes to dec. It fails on a panic, on an error that
+// is not an *Error, and if a decoded value has another encoding after it is encoded
+// and decoded once more. Each seed is used whole and cut in half.
 func fuzzDecoder[V any](f *testing.F, seeds [][]byte, enc func(V) []byte, dec func([]byte) (V, error)) {
 	for _, s := range seeds {
 		f.Add(s)
@@ -139,8 +140,8 @@
 	})
 }
 
-// exampleSeeds returns encoded values of the generator gen as seeds. The numbers
-// passed to Example are fixed, so that a failing seed is the same in each run.
+// exampleSeeds returns encoded values of the generator gen as fuzzing seeds. The
+// values are the same in each run, so that a failing seed can be reproduced.
 func exampleSeeds[V any](gen func(*rapid.T) V, enc func(V) []byte) [][]byte {
 	var out [][]byte
 	for n := range 12 {
--- a/io/proto/codec/table.go
+++ b/io/proto/codec/table.go
@@ -8,13 +8,13 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// StampToWire converts a hybrid clock stamp to its message.
+// StampToWire converts a timestamp of the hybrid logical clock to its message.
 func StampToWire(s model.Stamp) *wirepb.Stamp {
 	return &wirepb.Stamp{WallMs: int64(s.Wall), Count: s.Count}
 }
 
-// StampFromWire converts a message to a hybrid clock stamp. A nil message gives
-// the zero stamp.
+// StampFromWire converts a message to a timestamp of the hybrid logical clock. A
+// nil message gives the zero value.
 func StampFromWire(w *wirepb.Stamp) model.Stamp {
 	return model.Stamp{Wall: clock.Millis(w.GetWallMs()), Count: w.GetCount()}
 }
@@ -62,8 +62,8 @@
 	}, nil
 }
 
-// DeltaToWire converts the difference between two versions of the table to its
-// message.
+// DeltaToWire converts the difference between two versions of the routing table
+// (contracts and instances) to its message.
 func DeltaToWire(d model.Delta) *wirepb.Delta {
 	return &wirepb.Delta{
 		From:             uint64(d.From),
@@ -77,8 +77,8 @@
 }
 
 // DeltaFromWire converts a message to the difference between two versions of the
-// table. It returns an error if the delta ends at a lower version than it starts
-// from, or if an element is not valid.
+// routing table. It returns an error if the delta leads to a lower version than
+// the one it starts from, or if an element is not valid.
 func DeltaFromWire(w *wirepb.Delta) (model.Delta, error) {
 	const op = "delta"
 	if w.GetTo() < w.GetFrom() {
