Reword package conf and the meanings of ambiguous settings

Read badly: 'which cost has priority ... leaves surges to the queues' (the cost to avoid or the cost to pay?), 'moves in one decision whose only purpose' (of the moves or of the decision?), 'the lease of lent slots', 'share of retries, in percent', 'the least number of members', 'one entry process for each of a few hundred instances', 'tasks can only work all at the same time', a quota of processor 'time' that is held, and PeriodDays and MarginDays under one comment.

Now surge says when spare instances are lent, exchange-moves counts the moves made only for the spread, leases are lease durations, quotas are processor capacity, and each field has its own comment. One test label: 'no identity' -> 'no id'.

--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -10,12 +10,11 @@
 	"camphorridge/core/state/model"
 )
 
-// maxControlMembers is the largest number of members of the control group. At most
-// 7 instances are reserved for control processes.
+// maxControlMembers is the largest number of members of the control group: at most 7
+// instances are reserved for control processes.
 const maxControlMembers = 7
 
-// joinDistinct returns the texts separated by commas, in their order and without
-// repetitions.
+// joinDistinct joins the texts with commas, in their order and without repetitions.
 func joinDistinct(list []string) string {
 	var out []string
 	for _, s := range list {
@@ -69,16 +68,16 @@
 	}
 }
 
-// checkAtMost reports a problem if the value of key is above limit, the value of
-// the key limitKey in the same section.
+// checkAtMost adds a problem if value, which key has, is above limit, which limitKey
+// has in the same section.
 func (d *decoder[T]) checkAtMost(section, key string, value clock.Millis, limitKey string, limit clock.Millis) {
 	if value > limit && d.noProblemIn(section+"/"+key, section+"/"+limitKey) {
 		d.addProblem(section, key, fmt.Sprint(value), "above "+limitKey, fmt.Sprintf("at most %d", limit))
 	}
 }
 
-// checkMembers sorts both lists by name, and checks their lengths and that names
-// and addresses are unique over both lists.
+// checkMembers sorts both lists by name. It checks their lengths, and that no name
+// and no address occurs twice in the two lists together.
 func (d *decoder[T]) checkMembers(controls, entries []model.Member) {
 	names, addresses := map[model.Process]string{}, map[string]string{}
 	for _, list := range []struct {
@@ -104,8 +103,8 @@
 }
 
 // checkOwnMember checks that the process itself is in the list of its role, with
-// the same zone. The address in the list is the one that other processes connect
-// to; it may differ from the address that the process listens on.
+// the same zone. It does not check the address: other processes connect to the one in
+// the list, which may differ from the one that the process listens on.
 func (d *decoder[T]) checkOwnMember(section string, members []model.Member, name model.Process, zone model.Zone) {
 	if !d.noProblemIn("process/", section+"/") {
 		return
@@ -121,8 +120,8 @@
 	}
 }
 
-// checkListen checks that no address is given for two listeners, except addresses
-// with port 0, for which the system picks a free port.
+// checkListen checks that no two listeners have the same address. Addresses with port
+// 0 are exempt, because the system picks a free port for each.
 func (d *decoder[T]) checkListen(l Listen) {
 	keyByAddress := map[string]string{}
 	for _, a := range [][2]string{{"callers", l.Callers}, {"upstreams", l.Upstreams}, {"peers", l.Peers}, {"admin", l.Admin}} {
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -8,14 +8,14 @@
 // Listen holds the addresses that a process listens on, as ip:port. With port 0
 // the system picks a free port.
 type Listen struct {
-	// Callers receives the requests of callers and Upstreams the announcements of
-	// upstreams. Both are empty for a control process.
+	// Callers is the address for the requests of callers, Upstreams that for the
+	// announcements of upstreams. Both are empty for a control process.
 	Callers   string
 	Upstreams string
-	// Peers receives the messages of other processes of the system and of the
-	// command line.
+	// Peers is the address for the other processes of the system and for the command
+	// line.
 	Peers string
-	// Admin serves the metrics, the health check and the time line.
+	// Admin is the address for the metrics, the health check and the time line.
 	Admin string
 }
 
@@ -32,22 +32,23 @@
 	DefaultTimeoutMillis clock.Millis
 	// MaxTimeoutMillis is the longest timeout that a request may set.
 	MaxTimeoutMillis clock.Millis
-	// LeaseMillis is the lease of an announcement; equal in all processes.
+	// LeaseMillis is the lease duration of an announcement. It must be the same in
+	// all processes.
 	LeaseMillis clock.Millis
 	// QueueRingSize is the capacity of the dispatcher's input ring, in messages.
 	QueueRingSize int
-	// RetryPercent is the share of retries of this process, in percent of the first
+	// RetryPercent limits the retries of this process, as a percentage of first
 	// attempts.
 	RetryPercent int
 	// DrainMillis is the longest time that a graceful stop takes. It is at least
-	// MaxTimeoutMillis, so that a stop interrupts no request.
+	// MaxTimeoutMillis, so that a graceful stop interrupts no request.
 	DrainMillis clock.Millis
 }
 
 // Lending holds the settings for lending slots between entry processes.
 type Lending struct {
-	// LeaseMillis is the lease of lent slots: 0 turns lending off, otherwise it is
-	// at least minLendingLeaseMillis.
+	// LeaseMillis is the lease duration of lent slots. 0 turns lending off; any other
+	// value is at least minLendingLeaseMillis.
 	LeaseMillis clock.Millis
 	// ReservePercent is the share of the slots of each upstream that is never
 	// lent, rounded up.
@@ -56,7 +57,8 @@
 
 // ControlLimits holds the limits of a control process.
 type ControlLimits struct {
-	// LeaseMillis is the lease of an announcement; equal in all processes.
+	// LeaseMillis is the lease duration of an announcement. It must be the same in
+	// all processes.
 	LeaseMillis clock.Millis
 	// DrainMillis is the longest time that a graceful stop takes.
 	DrainMillis clock.Millis
@@ -64,7 +66,7 @@
 
 // Consensus holds the timing of the Raft group and the file sizes of its log.
 type Consensus struct {
-	// ElectionMillis is the shortest time without a message from the leader after
+	// ElectionMillis is the shortest time without a message from a leader after
 	// which a follower starts an election. The longest is twice that.
 	ElectionMillis clock.Millis
 	// HeartbeatMillis is the interval of the leader's heartbeats. It is at most a
@@ -95,9 +97,10 @@
 	// maintenance counts as failed.
 	StuckMillis clock.Millis
 	// PeriodDays is the time within which every instance is maintained once; 0
-	// turns periodic maintenance off. MarginDays is how long before the end of the
-	// period an instance becomes due; it is below PeriodDays.
+	// turns periodic maintenance off.
 	PeriodDays int
+	// MarginDays is how long before the end of the period an instance becomes due
+	// for maintenance. It is below PeriodDays unless PeriodDays is 0.
 	MarginDays int
 }
 
@@ -106,16 +109,17 @@
 	Name   model.Process
 	Zone   model.Zone
 	Listen Listen
-	// Controls lists the control members, sorted by name. It is not empty.
+	// Controls lists the members of the control group, sorted by name. It is not
+	// empty.
 	Controls []model.Member
-	// Entries lists the entry processes with the addresses for their peers, sorted
-	// by name. It contains this process.
+	// Entries lists the entry processes with their Peers addresses, sorted by name.
+	// It contains this process.
 	Entries []model.Member
 	Limits  Limits
 	Lending Lending
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
-	// EventCapacity is the number of time-line events kept.
+	// EventCapacity is the largest number of time-line events kept.
 	EventCapacity int
 }
 
@@ -125,36 +129,39 @@
 	Zone       model.Zone
 	DataFolder string
 	Listen     Listen
-	// Controls lists the control members, sorted by name. It contains this process.
+	// Controls lists the members of the control group, sorted by name. It contains
+	// this process.
 	Controls []model.Member
-	// GroupSize is the least number of members that the control group keeps: silent
-	// members are removed only while the group has more. If it is below the number
-	// of Controls, that number applies.
+	// GroupSize is the number of members below which the control group never
+	// shrinks: members that do not answer are removed only while the group has more.
+	// If GroupSize is below the number of Controls, that number applies. It has no
+	// key in the settings file.
 	GroupSize int
 	// Entries lists the entry processes, sorted by name.
 	Entries []model.Member
-	// Platforms lists the platform's interfaces, at most one per zone. In a zone
-	// without one nothing is rebooted.
+	// Platforms lists the addresses of the platform's API, at most one per zone. In a
+	// zone without one, no instance is rebooted.
 	Platforms []Platform
 	Limits    ControlLimits
 	Consensus Consensus
 	// RepairAfterMillis is how long to wait for a lost instance to return before
 	// another instance replaces it.
 	RepairAfterMillis clock.Millis
-	// MaxExchangeMoves limits the moves of one decision whose only purpose is to
-	// spread pools better over failure domains.
+	// MaxExchangeMoves is the largest number of moves that one decision makes only to
+	// spread the pools better over failure domains.
 	MaxExchangeMoves int
-	// SurgePreference says which cost has priority when demand exceeds the capacity
-	// of a pool: that of waiting requests (roll-out-time) or that of lending idle
-	// instances (buffer-cost). The value off leaves surges to the queues.
+	// SurgePreference says when spare instances are lent to a pool whose demand
+	// exceeds its capacity: early, to keep waiting times short (roll-out-time), or
+	// only for a long queue, to keep more spare instances idle (buffer-cost). With
+	// off, none are lent and the excess requests wait in the queues.
 	SurgePreference string
 	// SurgeMinSpare is the number of instances of each spare pool that are never
-	// lent to a surge.
+	// lent during a surge.
 	SurgeMinSpare int
 	Maintenance   Maintenance
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
-	// EventCapacity is the number of time-line events kept.
+	// EventCapacity is the largest number of time-line events kept.
 	EventCapacity int
 }
 
--- a/io/proto/conf/conf_test.go
+++ b/io/proto/conf/conf_test.go
@@ -14,7 +14,7 @@
 	"camphorridge/io/proto/conf"
 )
 
-// loadByName loads a file as the kind of file with which its name starts.
+// loadByName loads a file. The start of its name says of which kind it is.
 func loadByName(path string) (any, error) {
 	switch name := filepath.Base(path); {
 	case strings.HasPrefix(name, "control"):
@@ -26,8 +26,8 @@
 	}
 }
 
-// TestFiles checks that every value is stored in its own field, and that every
-// problem of a file is reported, at the right place and at the first attempt.
+// TestFiles checks that every value is stored in its own field, and that all problems
+// of a file are reported together, each with its section and key.
 func TestFiles(t *testing.T) {
 	paths, err := filepath.Glob("testdata/*.ini")
 	assert.NilError(t, err)
@@ -44,7 +44,8 @@
 	}
 }
 
-// TestErrorKinds checks that callers can distinguish the reasons of errors.
+// TestErrorKinds checks that each reason for an error has its own kind, and that
+// problems name the file.
 func TestErrorKinds(t *testing.T) {
 	large := filepath.Join(t.TempDir(), "large.ini")
 	assert.NilError(t, os.WriteFile(large, make([]byte, 1<<20+1), 0o600))
--- a/io/proto/conf/decode.go
+++ b/io/proto/conf/decode.go
@@ -9,11 +9,11 @@
 	"gopkg.in/ini.v1"
 )
 
-// maxFileBytes is the largest size of a settings file. The longest allowed list
-// of members takes less than a tenth of it.
+// maxFileBytes is the largest size of a file. The longest allowed lists of members
+// take less than a tenth of it.
 const maxFileBytes = 1 << 20
 
-// load reads the file at path and parses it.
+// load reads the file at path and parses it with parse.
 func load[T any](path string, parse func(string, []byte) (T, error)) (t T, err error) {
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > maxFileBytes {
@@ -46,9 +46,9 @@
 	})
 }
 
-// noProblemIn reports whether no problem was found in the given settings, each
-// "section/key" or a prefix of it. Checks across keys call it first, so that a
-// wrong value is reported only once.
+// noProblemIn reports whether none of the given settings has a problem so far. A
+// setting is given as "section/key" or as a prefix of that. Checks across keys call
+// it first, so that a wrong value is reported only once.
 func (d *decoder[T]) noProblemIn(settings ...string) bool {
 	return !slices.ContainsFunc(d.problems, func(p Problem) bool {
 		return slices.ContainsFunc(settings, func(s string) bool {
@@ -57,12 +57,13 @@
 	})
 }
 
-// decode parses data according to the table of keys, then calls check for the
-// checks across keys, such as one value being at most another. It returns an
-// *Error with all problems of the file.
+// decode parses data according to the table of keys. It then calls check for the
+// checks across keys, for example that one value is at most another. The error is
+// an *Error with all problems of the file.
 func decode[T any](op, file string, data []byte, keys []Key[T], check func(*decoder[T])) (t T, err error) {
-	// Shadows and non-unique sections keep duplicates, which the library otherwise
-	// merges silently. Only "=" is a delimiter, because addresses contain colons.
+	// Shadow values and non-unique sections preserve duplicates, which the library
+	// otherwise merges silently. Only "=" is a delimiter, because addresses contain
+	// colons.
 	f, err := ini.LoadSources(ini.LoadOptions{
 		AllowShadows:               true,
 		AllowDuplicateShadowValues: true,
@@ -121,7 +122,7 @@
 // value is not allowed.
 func (d *decoder[T]) readKey(section, key, value string) {
 	for _, k := range d.keys {
-		// At most one of the two names is not empty: see Key.Section.
+		// At most one of the two names is not empty; see Key.Section.
 		sectionName, inSection := matchPlaceholder(k.Section, section)
 		keyName, found := matchPlaceholder(k.Name, key)
 		if !inSection || !found {
@@ -136,9 +137,8 @@
 }
 
 // handleAbsentKeys sets the defaults of absent keys and reports required keys that
-// are absent. It does so for every section without a placeholder, even if the
-// file lacks the section, and for those sections with a chosen name that are in
-// the file.
+// are absent. A section without the placeholder is handled even if the file lacks
+// it; a section with the placeholder only under the names that the file has.
 func (d *decoder[T]) handleAbsentKeys() {
 	for _, k := range d.keys {
 		sections := []string{k.Section}
--- a/io/proto/conf/error.go
+++ b/io/proto/conf/error.go
@@ -15,7 +15,8 @@
 	KindRead Kind = iota
 	// KindSyntax: the file is not INI.
 	KindSyntax
-	// KindInvalid: settings are missing, unknown, duplicate or out of range.
+	// KindInvalid: sections or keys are missing, unknown or duplicate, or values are
+	// out of range or inconsistent.
 	KindInvalid
 )
 
@@ -26,7 +27,7 @@
 	Key     string
 	Value   string
 	Reason  string
-	// Allowed describes what is accepted in place of Value.
+	// Allowed describes what is accepted instead.
 	Allowed string
 }
 
@@ -55,16 +56,18 @@
 
 // Error is the error type that all functions of the package return.
 type Error struct {
+	// Op names the operation, or the kind of file that was parsed.
 	Op   string
 	Kind Kind
 	Err  error
-	// Problems lists every problem found: first those of single keys in the order of
-	// the file, then absent keys, then those found by checks across keys. It is
-	// empty for KindRead.
+	// Problems lists all problems found: first those of single sections and keys in
+	// the order of the file, then absent keys, then those found by checks across
+	// keys. It is empty for KindRead.
 	Problems []Problem
 }
 
-// Error returns one line per problem, after a heading when there are several.
+// Error returns one line per problem. If there are several, a line with their
+// number comes first.
 func (e *Error) Error() string {
 	if n := len(e.Problems); n > 1 {
 		return fmt.Sprintf("%s: %d errors\n%s", e.Op, n, e.Err)
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -10,10 +10,11 @@
 	"camphorridge/core/state/jobs"
 )
 
-// maxOccurrences is the largest number of occurrences of a job.
+// maxOccurrences is the largest value of the key occurrences.
 const maxOccurrences = 1000
 
-// jobFile is a job while its file is parsed.
+// jobFile is a job file while it is parsed. Dependencies are resolved from names to
+// indexes when all steps are known.
 type jobFile struct {
 	job jobs.Job
 	// stepNames holds the names of the steps, in the order of job.Steps.
@@ -61,16 +62,16 @@
 	const maxAmount = 1_000_000
 	return []Key[jobFile]{
 		stepIntKey("tasks", "", 1, jobs.MaxTasks, "number of tasks; 1 if absent", func(s *jobs.Step) *int { return &s.TaskCount }),
-		stepIntKey("milli-cores", "1/1000 core", 0, maxAmount, "processor time that each task requires", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
+		stepIntKey("milli-cores", "1/1000 core", 0, maxAmount, "processor capacity that each task requires", func(s *jobs.Step) *int { return &s.Resources.MilliCores }),
 		stepIntKey("memory-mib", "MiB", 0, maxAmount*1000, "memory that each task requires", func(s *jobs.Step) *int { return &s.Resources.MemoryMiB }),
 		stepIntKey("accelerators", "accelerators", 0, maxAmount, "accelerators that each task requires", func(s *jobs.Step) *int { return &s.Resources.Accelerators }),
 		stepIntKey("estimate-ms", "ms", 0, 366*clock.Day, "approximate duration of a task", func(s *jobs.Step) *clock.Millis { return &s.Estimate }),
 		stepIntKey("per-worker", "tasks", 0, jobs.MaxTasks, "largest number of tasks of the step on one worker; 0 for no limit", func(s *jobs.Step) *int { return &s.MaxPerWorker }),
-		stepIntKey("may-miss", "tasks", 0, jobs.MaxTasks, "number of lasting tasks that the scheduler may make unavailable at the same time", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
+		stepIntKey("may-miss", "tasks", 0, jobs.MaxTasks, "number of lasting tasks of the step that the scheduler may make unavailable at the same time", func(s *jobs.Step) *int { return &s.MaxUnavailable }),
 		stepIntKey("latency-ms", "ms", 0, clock.Hour, "limit on the tail latency of a serving task; 0 for none", func(s *jobs.Step) *clock.Millis { return &s.LatencyTarget }),
 		stepFlagKey("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Checkpoints }),
-		stepFlagKey("gang", "tasks can only work all at the same time", func(s *jobs.Step) *bool { return &s.Gang }),
-		stepFlagKey("same-rack", "tasks work faster on workers of one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
+		stepFlagKey("gang", "tasks can only work together, all running at the same time", func(s *jobs.Step) *bool { return &s.Gang }),
+		stepFlagKey("same-rack", "tasks of the gang work faster on workers of one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
 		stepFlagKey("copies", "a task may have several concurrent runs", func(s *jobs.Step) *bool { return &s.Speculative }),
 		stepFlagKey("lasting", "tasks run until the job is cancelled", func(s *jobs.Step) *bool { return &s.LongRunning }),
 		stepFlagKey("filler", "tasks use processor time that other tasks leave unused", func(s *jobs.Step) *bool { return &s.BestEffort }),
@@ -91,8 +92,8 @@
 	}
 }
 
-// stepIntKey returns the key of a whole number from lo to hi in the section of a
-// step.
+// stepIntKey returns a key in the section of a step whose value is a whole number
+// from lo to hi.
 func stepIntKey[V integer](name, unit string, lo, hi V, meaning string, field func(*jobs.Step) *V) Key[jobFile] {
 	return stepKey(name, unit, fmt.Sprintf("%d to %d", lo, hi), meaning, func(s *jobs.Step, value string) bool {
 		n, err := strconv.ParseInt(value, 10, 64)
@@ -101,7 +102,7 @@
 	})
 }
 
-// stepFlagKey returns the key of a yes or no value in the section of a step.
+// stepFlagKey returns a key in the section of a step whose value is yes or no.
 func stepFlagKey(name, meaning string, field func(*jobs.Step) *bool) Key[jobFile] {
 	return stepKey(name, "", "yes, no", meaning, func(s *jobs.Step, value string) bool {
 		*field(s) = value == "yes"
@@ -109,7 +110,7 @@
 	})
 }
 
-// stepTextKey returns the key of a name in the section of a step.
+// stepTextKey returns a key in the section of a step whose value is a name.
 func stepTextKey(name, meaning string, field func(*jobs.Step) *string) Key[jobFile] {
 	return stepKey(name, "", nameRule.allowed, meaning, func(s *jobs.Step, value string) bool {
 		*field(s) = value
@@ -128,7 +129,7 @@
 	}
 }
 
-// checkJob resolves the names of the steps that others depend on, and checks that
+// checkJob resolves the names in the after keys to step indexes. It also checks that
 // there is a step and that the job has at most jobs.MaxTasks tasks over all
 // occurrences.
 func checkJob(d *decoder[jobFile]) {
--- a/io/proto/conf/job_test.go
+++ b/io/proto/conf/job_test.go
@@ -36,7 +36,7 @@
 `
 
 // TestJobFile checks that the steps of a job keep their order, their dependencies
-// and their settings.
+// and the values of their keys.
 func TestJobFile(t *testing.T) {
 	j, err := conf.ParseJob("job.ini", []byte(validJob))
 	assert.NilError(t, err)
@@ -50,11 +50,11 @@
 	})
 }
 
-// TestJobFileErrors checks that a faulty job file is rejected, with an error that
-// names the file and the key.
+// TestJobFileErrors checks that an invalid job file is rejected with an error that
+// names the file and the key or the value at fault.
 func TestJobFileErrors(t *testing.T) {
 	for _, c := range []struct{ name, old, new, want string }{
-		{"no identity", "id = nightly-7\n", "", "id"},
+		{"no id", "id = nightly-7\n", "", "id"},
 		{"no queue", "queue = reports\n", "", "queue"},
 		{"no tasks", "tasks = 4", "tasks = 0", "tasks"},
 		{"unknown key", "milli-cores = 500", "cores = 500", "cores"},
--- a/io/proto/conf/key.go
+++ b/io/proto/conf/key.go
@@ -8,29 +8,32 @@
 	"camphorridge/core/state/model"
 )
 
-// namePlaceholder stands for a chosen name in a section or key: "pool NAME" and
-// "member-NAME" each match any number of names.
+// namePlaceholder stands for a name that the author of the file chooses: the
+// section "pool NAME" and the key "member-NAME" match any valid name, and a file
+// may have any number of them.
 const namePlaceholder = "NAME"
 
-// Key describes one setting of T. Parsing, checking and the reference page use
-// it.
+// Key describes one key of a file that is parsed into T. Parsing, checking and the
+// reference page use it.
 type Key[T any] struct {
-	// Section and Name may end in the placeholder NAME, but not both.
+	// Section and Name are the names of the section and of the key. One of them, but
+	// not both, may end in the placeholder NAME.
 	Section string
 	Name    string
-	// Unit is empty for numbers without one and for text.
+	// Unit is empty for numbers without a unit and for text.
 	Unit string
-	// Default is the value used for an absent key. A key without default must be
+	// Default is the value used for an absent key. A key without a default must be
 	// present, unless its name ends in the placeholder or it is optional.
 	Default string
-	// Optional says that the key may be absent although it has no default.
+	// Optional is set if the key may be absent although it has no default.
 	Optional bool
-	// Allowed describes the values that set accepts.
+	// Allowed describes the values that set accepts, for errors and for the reference
+	// page.
 	Allowed string
 	// Meaning describes the setting on the reference page.
 	Meaning string
-	// set stores a value in t, or reports false if the value is not allowed. name
-	// is the text in place of the placeholder; it is empty for a key without one.
+	// set stores the value in t and reports whether the value is allowed. name is the
+	// text in place of the placeholder; it is empty if there is no placeholder.
 	set func(t *T, name, value string) bool
 }
 
@@ -39,8 +42,9 @@
 	return k.Default == "" && !k.Optional && !strings.HasSuffix(k.Name, namePlaceholder)
 }
 
-// matchPlaceholder returns the name that stands in for the placeholder of pattern;
-// ok is false if text does not match.
+// matchPlaceholder matches text against pattern and returns the name in place of
+// the placeholder; name is empty if pattern has no placeholder. ok is false if text
+// does not match or the name is not valid.
 func matchPlaceholder(pattern, text string) (name string, ok bool) {
 	prefix, hasPlaceholder := strings.CutSuffix(pattern, namePlaceholder)
 	if !hasPlaceholder {
@@ -53,7 +57,7 @@
 // integer is the type of a numeric setting.
 type integer interface{ ~int | ~int64 }
 
-// intKey returns the key of a whole number from lo to hi.
+// intKey returns a key whose value is a whole number from lo to hi.
 func intKey[T any, V integer](section, name, unit, def string, lo, hi V, meaning string, field func(*T) *V) Key[T] {
 	return Key[T]{
 		Section: section, Name: name, Unit: unit, Default: def, Meaning: meaning,
@@ -69,13 +73,14 @@
 	}
 }
 
-// textRule defines which values of a text key are allowed.
+// textRule defines which values of a text key are allowed; allowed describes those
+// that accepts returns true for.
 type textRule struct {
 	allowed string
 	accepts func(string) bool
 }
 
-// textKey returns the key of a text value.
+// textKey returns a key whose value is a text that r accepts.
 func textKey[T any, V ~string](section, name, def string, r textRule, meaning string, field func(*T) *V) Key[T] {
 	return Key[T]{
 		Section: section, Name: name, Default: def, Meaning: meaning, Allowed: r.allowed,
--- a/io/proto/conf/reference.go
+++ b/io/proto/conf/reference.go
@@ -23,7 +23,8 @@
 	return b.String()
 }
 
-// writeKeys writes one section of the page per section of the file.
+// writeKeys writes the part of the page for one kind of file: a heading and, for each
+// section of the file, a table of its keys.
 func writeKeys[T any](b *strings.Builder, title string, keys []Key[T]) {
 	fmt.Fprintf(b, "\n## %s\n", title)
 	var written []string
--- a/io/proto/conf/rule.go
+++ b/io/proto/conf/rule.go
@@ -45,8 +45,9 @@
 	}
 }
 
-// parseMember parses the address of a process, zone@ip:port. ok is false if the
-// zone is not a valid name, the port is 0 or the IP address is unspecified.
+// parseMember parses the zone and the address of the process name, written as
+// zone@ip:port. ok is false if the value is malformed, the zone is not a valid
+// name, the port is 0 or the IP address is unspecified.
 func parseMember(name, value string) (m model.Member, ok bool) {
 	zone, address, ok := strings.Cut(value, "@")
 	if !ok || !model.ValidName(zone) {
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -11,8 +11,8 @@
 
 const kib = 1 << 10
 
-// maxEntryMembers is the longest list of entry processes. The design has one entry
-// process for each of a few hundred instances, and at most 7 control members.
+// maxEntryMembers is the largest number of entry processes. The system is designed
+// for one entry process on each of a few hundred instances.
 const maxEntryMembers = 512
 
 // entryKeys returns the table of keys of an entry process.
@@ -56,9 +56,9 @@
 		[]Key[Control]{platformKey()},
 		[]Key[Control]{
 			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "how long to wait for a lost instance to return before another instance replaces it", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
-			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "largest number of moves in one decision whose only purpose is to spread the pools better over failure domains; each move is a disruption", func(c *Control) *int { return &c.MaxExchangeMoves }),
-			textKey("capacity", "surge", "roll-out-time", oneOfRule("roll-out-time", "buffer-cost", "off"), "which cost has priority when demand exceeds the capacity of a pool: that of waiting requests (roll-out-time) or that of lending idle instances (buffer-cost); off leaves surges to the queues", func(c *Control) *string { return &c.SurgePreference }),
-			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "number of instances of each spare pool that are never lent during a surge, so that the loss of as many instances stays covered", func(c *Control) *int { return &c.SurgeMinSpare }),
+			intKey("capacity", "exchange-moves", "moves", "0", 0, 1000, "largest number of moves that one decision makes only to spread the pools better over failure domains; each move is a disruption", func(c *Control) *int { return &c.MaxExchangeMoves }),
+			textKey("capacity", "surge", "roll-out-time", oneOfRule("roll-out-time", "buffer-cost", "off"), "when to lend spare instances to a pool whose demand exceeds its capacity: early, to keep waiting times short (roll-out-time), or only for a long queue, to keep more spare instances idle (buffer-cost); with off, none are lent and the excess requests wait in the queues", func(c *Control) *string { return &c.SurgePreference }),
+			intKey("capacity", "surge-keep", "instances", "4", 0, 100_000, "number of instances of each spare pool that are never lent during a surge, so that the loss of that many instances stays covered", func(c *Control) *int { return &c.SurgeMinSpare }),
 			intKey("maintenance", "step-ms", "ms", "600000", 100, clock.Day, "longest time that one maintenance keeps an instance out of service; disruption budgets are calculated with it; at most stuck-ms", func(c *Control) *clock.Millis { return &c.Maintenance.MaintenanceMillis }),
 			intKey("maintenance", "canary-ms", "ms", "900000", 0, clock.Day, "how long the first instance of a wave is observed after its return before others follow", func(c *Control) *clock.Millis { return &c.Maintenance.CanaryMillis }),
 			intKey("maintenance", "stuck-ms", "ms", "1200000", 100, 7*clock.Day, "time after which an instance that has not returned from maintenance counts as failed", func(c *Control) *clock.Millis { return &c.Maintenance.StuckMillis }),
@@ -100,8 +100,9 @@
 	}
 }
 
-// platformKey returns the key of a platform interface. The key is optional: in a
-// zone without one nothing is rebooted, and maintenance waits.
+// platformKey returns the key of the address of the platform's API in one zone. The
+// key may be absent: in a zone without one, no instance is rebooted, and maintenance
+// waits.
 func platformKey() Key[Control] {
 	return Key[Control]{
 		Section: "platform", Name: "zone-" + namePlaceholder, Meaning: "address of the platform's API in the availability zone NAME",
@@ -129,12 +130,13 @@
 	}
 }
 
-// leaseKey returns the key of the lease of announcements, which both roles have.
+// leaseKey returns the key of the lease duration of announcements, which both roles
+// have.
 func leaseKey[T any](field func(*T) *clock.Millis) Key[T] {
 	return intKey("limits", "lease-ms", "ms", "3000", 100, clock.Minute, "lease duration of an announcement; the same in all processes", field)
 }
 
-// drainKey returns the key of the longest time of a graceful stop, which both
+// drainKey returns the key of the longest duration of a graceful stop, which both
 // roles have.
 func drainKey[T any](field func(*T) *clock.Millis) Key[T] {
 	return intKey("limits", "drain-ms", "ms", "65000", 1, clock.Hour, "longest time that a graceful stop takes; at least max-timeout-ms in an entry process", field)
@@ -144,7 +146,7 @@
 func commonKeys[T any](level func(*T) *string, capacity func(*T) *int) []Key[T] {
 	return []Key[T]{
 		textKey("log", "level", "info", oneOfRule("debug", "info", "warn", "error"), "least severe level that is logged", level),
-		intKey("events", "capacity", "events", "4096", 16, 1<<20, "number of time-line events kept; beyond it the oldest are dropped and counted", capacity),
+		intKey("events", "capacity", "events", "4096", 16, 1<<20, "largest number of time-line events kept; beyond it, the oldest are dropped and counted", capacity),
 	}
 }
 
@@ -175,11 +177,11 @@
 			},
 		},
 		intKey("disruption", "max-unavailable", "instances", "", 0, 100_000, "the customer's instances that may be out of service at once, planned and unplanned together; below the number of promised instances, summed over the pools", func(c *contract) *int { return &c.MaxUnavailable }),
-		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over instances, that is allowed in one window; at most window-ms times the number of promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
+		intKey("disruption", "budget-ms", "ms", "", 0, 1_000_000*clock.Day, "unavailable time, summed over the customer's instances, that is allowed in one window; at most window-ms times the number of promised instances", func(c *contract) *clock.Millis { return &c.BudgetMillis }),
 		intKey("disruption", "window-ms", "ms", "", clock.Second, 366*clock.Day, "length of the window to which budget-ms applies", func(c *contract) *clock.Millis { return &c.WindowMillis }),
 		intKey("spare", "instances", "instances", "0", 0, 100_000, "idle instances reserved for the customer", func(c *contract) *int { return &c.Spare }),
 		optional(textKey("spare", "pool", "", nameRule, "pool that holds the spare instances; not a promised pool", func(c *contract) *model.Pool { return &c.SparePool })),
-		intKey("quota", "milli-cores", "1/1000 core", "0", 0, 1_000_000_000, "processor time that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.MilliCores }),
+		intKey("quota", "milli-cores", "1/1000 core", "0", 0, 1_000_000_000, "processor capacity that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.MilliCores }),
 		intKey("quota", "memory-mib", "MiB", "0", 0, 1_000_000_000, "memory that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.MemoryMiB }),
 		intKey("quota", "accelerators", "accelerators", "0", 0, maxAmount, "accelerators that the customer's tasks may hold at the same time", func(c *contract) *int { return &c.Quota.Accelerators }),
 	}
