Reword package report and say what to do about waiting tasks

Read badly: 'stamps of a faulty process', groups that 'can be folded', 'Only the function for the given format is called', 'a version' without saying of what, 'the jobs' of which summaries hold 'only some', Contract's doc claimed serving counts that only the text has, 'ask for less' and 'advice lines' in the reasons for waiting, and one comment over the sizes of the overview that covered a count of characters in passing.

The beginning of the text that platform/operator_test.go matches stays. Unexported: spanText -> durationText, clockText -> timeOfDayText, overviewMarks -> overviewSpans (it counts time spans).

--- a/io/proto/report/events.go
+++ b/io/proto/report/events.go
@@ -8,16 +8,17 @@
 	"camphorridge/core/state/model"
 )
 
-// eventField connects a key of an event's JSON object with the field of the event.
+// eventField maps a key of the JSON object to a field of the event.
 type eventField struct {
 	name string
 	// pointer is a pointer to the field of the event.
 	pointer any
-	// required says that the key is always written and must be present.
+	// required is set if the key is always written and must be present when decoding.
 	required bool
 }
 
-// eventFields returns the fields of e. Encoding and decoding both use it.
+// eventFields returns the fields of e, in the order of the keys in JSON. Encoding and
+// decoding both use it.
 func eventFields(e *model.Event) []eventField {
 	return []eventField{
 		{"stamp-ms", &e.Stamp.Wall, true},
@@ -48,8 +49,8 @@
 	return o
 }
 
-// EventsToJSON returns the events as a JSON list. Empty optional fields are left
-// out.
+// EventsToJSON returns the events as a JSON array, without optional fields that are
+// empty.
 func EventsToJSON(events []model.Event) ([]byte, error) {
 	data, err := json.Marshal(mapObjects(events, eventObject))
 	if err != nil {
@@ -58,9 +59,9 @@
 	return data, nil
 }
 
-// EventsFromJSON parses a list written by EventsToJSON. It ignores unknown keys, so
+// EventsFromJSON parses an array written by EventsToJSON. It ignores unknown keys, so
 // that processes of different releases can exchange events. It returns an *Error
-// of KindDecode if the list is malformed or an event lacks a required key.
+// of KindDecode if the array is malformed or an event lacks a required key.
 func EventsFromJSON(data []byte) ([]model.Event, error) {
 	var items []map[string]json.RawMessage
 	if err := json.Unmarshal(data, &items); err != nil {
--- a/io/proto/report/explain.go
+++ b/io/proto/report/explain.go
@@ -9,7 +9,8 @@
 	"camphorridge/core/state/trail"
 )
 
-// adviceTexts holds the advice to the operator for each action; %s is the target.
+// adviceTexts holds the advice to the operator for each action. %s stands for the
+// target of the advice.
 var adviceTexts = map[trail.Action]string{
 	trail.ActionRaiseLimit:     "raise %s in the contract",
 	trail.ActionApplyContract:  "apply a contract: %s",
@@ -24,7 +25,8 @@
 	trail.ActionInspect:        "check the limit %s",
 }
 
-// adviceText returns the advice in words.
+// adviceText returns the advice as a phrase, or the action and the target if the
+// action has no phrase.
 func adviceText(a trail.Advice) string {
 	text, ok := adviceTexts[a.Action]
 	if !ok {
@@ -65,7 +67,7 @@
 	return b.String()
 }
 
-// writeSection writes a title and the table, or nothing if the table is empty.
+// writeSection writes the title and the table, or nothing if the table has no rows.
 func writeSection(b *strings.Builder, title string, t *table) {
 	if len(t.rows) > 0 {
 		fmt.Fprintf(b, "\n%s\n%s", title, t)
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -9,21 +9,21 @@
 	"camphorridge/core/state/sched"
 )
 
-// waitReasonTexts says, for each reason why tasks wait, what it means and what the
-// operator can do.
+// waitReasonTexts explains each reason for which tasks wait and what the operator
+// can do about it.
 var waitReasonTexts = map[sched.WaitReason]string{
 	sched.WaitNotDue:       "the occurrence is not due yet",
 	sched.WaitDependencies: "an earlier step is not done",
 	sched.WaitNoWorkers:    "no worker of the pool has sent a heartbeat recently: add machines to the pool or start their workers",
-	sched.WaitLabel:        "no worker of the pool has the required label: add such a machine",
-	sched.WaitSize:         "no worker of the pool is large enough even when it is empty: ask for less or add a larger machine",
+	sched.WaitLabel:        "no worker of the pool has the required label: add a machine with it",
+	sched.WaitSize:         "no worker of the pool is large enough even when it is idle: lower the resources that each task requires, or add a larger machine",
 	sched.WaitLeaving:      "the workers are draining, or their machines are about to be maintained or moved: wait, or add machines",
 	sched.WaitQuarantine:   "the workers are quarantined because tasks fail on them: repair them, or wait until they are tried again",
-	sched.WaitAdvice:       "the advice service has not approved a worker: check the advice lines in the leader's log",
+	sched.WaitAdvice:       "the advice service has not approved a worker: check the lines about advice in the leader's log",
 	sched.WaitPerWorker:    "each worker already runs the maximum number of tasks of the step: add machines",
 	sched.WaitCapacity:     "other tasks use the workers' capacity: wait, or add machines",
 	sched.WaitGang:         "there is capacity for some tasks of the gang but not for all: wait, or add machines",
-	sched.WaitHeartbeat:    "a worker may get a task at its next heartbeat",
+	sched.WaitHeartbeat:    "a worker can get a task at its next heartbeat",
 }
 
 // JobStatus writes the status of a job.
@@ -33,8 +33,8 @@
 		func() any { return object{{"id", id}, {"status", s.String()}} })
 }
 
-// Jobs writes jobs that have not ended. total is the number of such jobs in all
-// queues; summaries may hold only some of them.
+// Jobs writes the given jobs, which have not ended. total is the number of jobs in all
+// queues that have not ended; summaries may hold only some of them.
 func Jobs(w io.Writer, f Format, summaries []sched.JobSummary, total int) error {
 	return render(w, "report jobs", f, func() string {
 		t := newTable("ID", "QUEUE", "STATUS", "ACCEPTED", "ON-TIME-UNTIL")
--- a/io/proto/report/json.go
+++ b/io/proto/report/json.go
@@ -38,8 +38,8 @@
 	return b.Bytes(), nil
 }
 
-// mapObjects applies f to every element. The result is never nil, so that an empty
-// list is [] in JSON and not null.
+// mapObjects applies f to every element. The result is never nil, so that JSON has
+// [] for an empty list and not null.
 func mapObjects[T any](in []T, f func(T) object) []object {
 	out := make([]object, 0, len(in))
 	for _, v := range in {
--- a/io/proto/report/limits.go
+++ b/io/proto/report/limits.go
@@ -8,7 +8,7 @@
 	"camphorridge/core/state/model"
 )
 
-// deriveLimits returns the limits that follow from a contract and the current
+// deriveLimits returns the limits that follow from the contract and the current
 // instances.
 func deriveLimits(c model.Contract, instances []model.Instance) limits.Set {
 	byID := make(map[model.InstanceID]model.Instance, len(instances))
@@ -18,8 +18,8 @@
 	return limits.Derive(limits.MinSlots{}, c, limits.NewFleet(byID, model.Quota{}))
 }
 
-// limitsTable returns a table of the limits, with the rule and the operands from
-// which each is computed.
+// limitsTable returns a table of the limits. Each row names the rule and the
+// operands from which the limit is computed.
 func limitsTable(s limits.Set) *table {
 	t := newTable("LIMIT", "VALUE", "RULE", "FROM")
 	for _, l := range s.All() {
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -24,8 +24,8 @@
 	return sortedBy(s.Contracts, func(c model.Contract) model.Customer { return c.Customer })
 }
 
-// valueOrDerived returns the text of a limit: "derived" for 0, which means that the
-// system computes the limit.
+// valueOrDerived returns the text of a limit in a contract. For 0 it is "derived",
+// because the system then computes the limit.
 func valueOrDerived(n int) string {
 	if n == 0 {
 		return "derived"
@@ -43,15 +43,15 @@
 				instances += p.Instances
 			}
 			t.add(c.Customer, c.Version, c.Covers, len(c.Pools), instances, valueOrDerived(c.Concurrency), c.Queue,
-				c.MaxUnavailable, spanText(c.BudgetMillis), spanText(c.WindowMillis), c.Spare)
+				c.MaxUnavailable, durationText(c.BudgetMillis), durationText(c.WindowMillis), c.Spare)
 		}
 		return t.String()
 	}, func() any { return object{{"contracts", mapObjects(sortedContracts(s), contractObject)}} })
 }
 
-// Contract writes one contract, with the number of serving instances of each of
-// its pools and the limits that follow from it. It returns an *Error of
-// KindNotFound if the customer has no contract.
+// Contract writes the contract of the named customer, with the limits that follow
+// from it. As text, it also writes the number of serving instances of each pool. It
+// returns an *Error of KindNotFound if the customer has no contract.
 func Contract(w io.Writer, f Format, s Status, name model.Customer) error {
 	i := slices.IndexFunc(s.Contracts, func(c model.Contract) bool { return c.Customer == name })
 	if i < 0 {
@@ -73,8 +73,8 @@
 	t.add("queue", c.Queue)
 	t.add("retry-percent", c.RetryPercent)
 	t.add("max-unavailable", c.MaxUnavailable)
-	t.add("budget", spanText(c.BudgetMillis))
-	t.add("window", spanText(c.WindowMillis))
+	t.add("budget", durationText(c.BudgetMillis))
+	t.add("window", durationText(c.WindowMillis))
 	t.add("spare instances", c.Spare)
 	t.add("spare pool", c.SparePool)
 	t.add("quota milli-cores", c.Quota.MilliCores)
@@ -113,7 +113,7 @@
 // progress counts the instances of a declared maintenance.
 type progress struct {
 	selected, maintained, underWay int
-	// overdue says that the deadline has passed and not all instances are
+	// overdue is set if the deadline has passed and not all selected instances are
 	// maintained.
 	overdue bool
 }
@@ -180,20 +180,21 @@
 	return "no"
 }
 
-// logEntriesBehind returns how far the table of the process is behind the current
-// one, in log entries: a version is the index of a log entry.
+// logEntriesBehind returns by how many log entries the table of the process is
+// behind the current one. A version is the index of a log entry.
 func logEntriesBehind(s Status, p ProcessStatus) model.Version {
 	return s.Version - min(p.Version, s.Version)
 }
 
-// isSilent reports whether the process never sent a report, or none within
-// trail.ReportTimeout.
+// isSilent reports whether the process has never sent a report, or has sent none
+// for longer than trail.ReportTimeout.
 func isSilent(s Status, p ProcessStatus) bool {
 	return p.LastReportAt == 0 || s.Now-p.LastReportAt > trail.ReportTimeout
 }
 
-// Overview writes the status of the control member that answered and, for each
-// entry process, the version of the table that it uses and since when.
+// Overview writes the status of the control member that answered. For each entry
+// process it writes the version of the table that the process uses, since when, and
+// the age of its last report.
 func Overview(w io.Writer, f Format, s Status) error {
 	s.Processes = sortedBy(s.Processes, func(p ProcessStatus) model.Process { return p.Name })
 	return render(w, "report status", f, func() string {
--- a/io/proto/report/measures.go
+++ b/io/proto/report/measures.go
@@ -10,8 +10,9 @@
 	"camphorridge/core/state/trail"
 )
 
-// Measures writes the rollout times of contract changes, the number of moves and finished
-// maintenances, the idle instances, and the maintenance waves.
+// Measures writes the rollout times of contract changes, the numbers of moves, of
+// finished maintenances and of idle instances, and the progress of the maintenance
+// waves.
 func Measures(w io.Writer, f Format, m trail.Measures) error {
 	return render(w, "report measures", f, func() string { return measuresText(m) }, func() any { return measuresObject(m) })
 }
@@ -28,7 +29,7 @@
 	b.WriteString(t.String())
 	waves := newTable("WAVE", "DONE", "OF", "ELAPSED")
 	for _, wave := range m.Waves {
-		waves.add(wave.Name, wave.Maintained, wave.Selected, spanText(wave.Elapsed))
+		waves.add(wave.Name, wave.Maintained, wave.Selected, durationText(wave.Elapsed))
 	}
 	if len(m.Waves) > 0 {
 		writeSection(&b, "Waves", waves)
--- a/io/proto/report/page.go
+++ b/io/proto/report/page.go
@@ -14,24 +14,24 @@
 	"camphorridge/core/state/model"
 )
 
-// Limits of the HTML page and sizes of its overview. They keep the size of the page
-// independent of the number of events.
+// Limits of the HTML page and dimensions of its overview. The limits bound the size
+// of the page for any number of events.
 const (
 	// maxRows is the largest number of events on the page; the newest are kept. At
 	// about 300 bytes per event the page stays near 6 MB.
 	maxRows = 20_000
-	// groupRows is the number of events in one group, which can be folded.
+	// groupRows is the number of events in one collapsible group.
 	groupRows = 100
-	// overviewMarks is the number of equal spans of time in the overview. All
-	// events of a process within one span share one mark.
-	overviewMarks = 500
-	// Widths and heights are in units of the SVG view box, labelRunes is in
-	// characters.
+	// overviewSpans is the number of equal time spans in the overview. All events of
+	// a process within one span share one mark.
+	overviewSpans = 500
+	// Widths and heights are in units of the SVG view box.
 	markWidth  = 2
 	laneHeight = 22
 	labelWidth = 120
-	labelRunes = 18
 	axisHeight = 18
+	// labelRunes is the largest number of characters in the label of a lane.
+	labelRunes = 18
 	// axisTicks is the number of parts into which ticks divide the time axis.
 	axisTicks = 5
 )
@@ -41,8 +41,8 @@
 
 var pageTemplate = template.Must(template.New("page").Parse(pageText))
 
-// severity returns the CSS class of an event, which sets its colour: calm, watch
-// or bad.
+// severity returns the CSS class that sets the colour of an event: calm, watch or
+// bad, in ascending order of severity.
 func severity(k model.EventKind) string {
 	switch k {
 	case model.EventRequestRefused, model.EventOutcomeUnknown, model.EventEjected, model.EventUpstreamGone:
@@ -65,9 +65,9 @@
 	Groups         []pageGroup
 }
 
-// pageKind is a kind of event, with the CSS class by which its rows are filtered.
-// Class is built from an index, because the names of kinds may come from other
-// processes and are not trusted.
+// pageKind is a kind of event. Class is the CSS class of its rows, by which the page
+// hides and shows them. It is built from an index, because the names of kinds may
+// come from other processes and are not trusted.
 type pageKind struct {
 	Name, Class, Severity string
 	Count                 int
@@ -75,16 +75,17 @@
 
 // pageLane is the row of one process in the overview.
 type pageLane struct {
-	// Label is the name, shortened to fit the left margin.
+	// Label is Name, shortened to fit the left margin.
 	Name, Label string
 	// TextY and Base are the y coordinates of the label and of the bottom of the
 	// lane.
 	TextY, Base int
-	Count       int
-	Marks       []pageMark
+	// Count is the number of events of the process.
+	Count int
+	Marks []pageMark
 }
 
-// pageMark stands for the events of a process within one span of time.
+// pageMark represents the events of a process within one time span.
 type pageMark struct {
 	X, Y, Width, Height int
 	Severity, Title     string
@@ -92,13 +93,13 @@
 	Group int
 }
 
-// pageTick is a labelled position on the time axis.
+// pageTick is a tick on the time axis and its label.
 type pageTick struct {
 	X    int
 	Text string
 }
 
-// pageGroup is a table of up to groupRows events, which can be folded.
+// pageGroup is a collapsible table of up to groupRows events.
 type pageGroup struct {
 	ID          int
 	Open        bool
@@ -113,8 +114,8 @@
 	Subject, Limit, Detail               string
 }
 
-// writePage writes the HTML page of the time line. It leaves out the oldest events
-// above maxRows.
+// writePage writes the HTML page of the time line. If there are more than maxRows
+// events, it leaves out the oldest.
 func writePage(w io.Writer, events []model.Event) error {
 	omitted := max(len(events)-maxRows, 0)
 	d := newPageData(events[omitted:])
@@ -126,10 +127,10 @@
 	return write(w, "report time line", b.String())
 }
 
-// newPageData returns the input of the template for the events, which are in causal
+// newPageData returns the input of the page template. The events must be in causal
 // order.
 func newPageData(events []model.Event) pageData {
-	d := pageData{Shown: len(events), Width: labelWidth + overviewMarks*markWidth}
+	d := pageData{Shown: len(events), Width: labelWidth + overviewSpans*markWidth}
 	if len(events) == 0 {
 		return d
 	}
@@ -150,7 +151,7 @@
 	d.Height = len(processes)*laneHeight + axisHeight
 	for i := range axisTicks + 1 {
 		at := first + (last-first)*clock.Millis(i)/axisTicks
-		d.Ticks = append(d.Ticks, pageTick{X: labelWidth + i*overviewMarks*markWidth/axisTicks, Text: clockText(at)})
+		d.Ticks = append(d.Ticks, pageTick{X: labelWidth + i*overviewSpans*markWidth/axisTicks, Text: timeOfDayText(at)})
 	}
 	for from := 0; from < len(events); from += groupRows {
 		d.Groups = append(d.Groups, newGroup(from, events[from:min(from+groupRows, len(events))], kinds))
@@ -172,20 +173,21 @@
 	return out
 }
 
-// clockText returns the time of day in UTC.
-func clockText(m clock.Millis) string {
+// timeOfDayText returns the time of day in UTC, without the date.
+func timeOfDayText(m clock.Millis) string {
 	return time.UnixMilli(int64(m)).UTC().Format("15:04:05.000")
 }
 
-// markIndex returns the index of the mark for a time. It uses floating point,
-// because the stamps of a faulty process may be so far apart that integers
-// overflow.
+// markIndex returns the index of the time span, and so of the mark, for the time at.
+// It uses floating point, because the stamps of a process with a wrong clock may be
+// so far apart that integers overflow.
 func markIndex(at, first, last clock.Millis) int {
 	span := max(float64(last)-float64(first), 1)
-	return min(max(int((float64(at)-float64(first))/span*(overviewMarks-1)), 0), overviewMarks-1)
+	return min(max(int((float64(at)-float64(first))/span*(overviewSpans-1)), 0), overviewSpans-1)
 }
 
-// newLane puts the events of a process into the marks of its lane.
+// newLane returns the lane of process p, the index-th from the top, with a mark for
+// each time span in which p has events.
 func newLane(p model.Process, index int, events []model.Event, first, last clock.Millis) pageLane {
 	l := pageLane{
 		Name: printable(string(p)), TextY: index*laneHeight + laneHeight*2/3, Base: (index+1)*laneHeight - 1,
@@ -194,8 +196,8 @@
 	if r := []rune(l.Name); len(r) > labelRunes {
 		l.Label = string(r[:labelRunes-1]) + "…"
 	}
-	spans := make([][]model.Event, overviewMarks)
-	groups := make([]int, overviewMarks)
+	spans := make([][]model.Event, overviewSpans)
+	groups := make([]int, overviewSpans)
 	for i, e := range events {
 		if e.Process != p {
 			continue
@@ -219,7 +221,7 @@
 		}
 		l.Marks = append(l.Marks, pageMark{
 			X: labelWidth + mark*markWidth, Y: l.Base - height, Width: markWidth, Height: height,
-			Severity: worstSeverity(inSpan), Title: clockText(inSpan[0].Stamp.Wall) + " " + countsText(inSpan), Group: groups[mark],
+			Severity: worstSeverity(inSpan), Title: timeOfDayText(inSpan[0].Stamp.Wall) + " " + countsText(inSpan), Group: groups[mark],
 		})
 	}
 	return l
@@ -252,18 +254,18 @@
 	return strings.Join(parts, ", ")
 }
 
-// newGroup returns the group of the given events, of which the first has the index
-// from on the page. kinds are the sorted kinds of all events of the page.
+// newGroup returns the group of the given events. from is the index of the first of
+// them on the page; kinds holds the kinds of all events of the page, sorted.
 func newGroup(from int, events []model.Event, kinds []model.EventKind) pageGroup {
 	g := pageGroup{
 		ID: from / groupRows, Open: from == 0,
-		First: timeText(events[0].Stamp.Wall), Last: clockText(events[len(events)-1].Stamp.Wall),
+		First: timeText(events[0].Stamp.Wall), Last: timeOfDayText(events[len(events)-1].Stamp.Wall),
 		Summary: countsText(events),
 	}
 	for _, e := range events {
 		kind, _ := slices.BinarySearch(kinds, e.Kind)
 		g.Rows = append(g.Rows, pageRow{
-			Time: clockText(e.Stamp.Wall) + fmt.Sprintf("+%d", e.Stamp.Count), Process: printable(string(e.Process)),
+			Time: timeOfDayText(e.Stamp.Wall) + fmt.Sprintf("+%d", e.Stamp.Count), Process: printable(string(e.Process)),
 			Kind: printable(string(e.Kind)), Class: fmt.Sprintf("k%d", kind), Severity: severity(e.Kind),
 			Subject: subjectText(e), Limit: printable(e.Limit), Detail: printable(e.Detail),
 		})
--- a/io/proto/report/report.go
+++ b/io/proto/report/report.go
@@ -11,16 +11,17 @@
 // Status is the state of the system as a control member sees it.
 type Status struct {
 	Member model.Process
-	// Leader is the leader of the control group, or empty if Member knows none.
+	// Leader is the leader of the control group; empty if Member knows none.
 	Leader model.Process
 	// Role is the role of Member in the control group.
 	Role string
 	Term uint64
 	// Commit is the Raft commit index.
 	Commit model.Version
-	// Version is the version of the current table.
+	// Version is the version of the current routing table (contracts and instances),
+	// which is the index of the log entry that last changed it.
 	Version model.Version
-	// Now is the time of Member's clock, from which ages are computed.
+	// Now is the time of Member's clock. Ages in reports are relative to it.
 	Now         clock.Millis
 	Contracts   []model.Contract
 	Instances   []model.Instance
@@ -32,10 +33,10 @@
 type ProcessStatus struct {
 	Name model.Process
 	Zone model.Zone
-	// Version is the version of the table that the process uses.
+	// Version is the version of the routing table that the process uses.
 	Version model.Version
 	// DrainedVersion is the version of the table up to which the process has
-	// carried out every release of an instance.
+	// completed every release of an instance.
 	DrainedVersion model.Version
 	// VersionSince is the time at which the leader first received a report of
 	// Version.
@@ -86,7 +87,7 @@
 	KindFormat Kind = iota
 	// KindNotFound: the requested object does not exist.
 	KindNotFound
-	// KindDecode: the input is not a valid JSON list of events.
+	// KindDecode: the input is not a valid JSON array of events.
 	KindDecode
 	// KindWrite: the output cannot be written.
 	KindWrite
@@ -105,8 +106,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// render writes a report as text or JSON. op names the operation in errors. Only
-// the function for the given format is called.
+// render writes a report as text or JSON. It calls text or value, whichever the
+// format needs. Errors name the operation as op.
 func render(w io.Writer, op string, f Format, text func() string, value func() any) error {
 	var out string
 	switch f {
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -71,7 +71,7 @@
 	})
 }
 
-// eventsByProcess returns the events sorted by process, not by time.
+// eventsByProcess returns the events sorted by process instead of by time.
 func eventsByProcess() []model.Event {
 	out := events()
 	slices.SortStableFunc(out, func(a, b model.Event) int { return strings.Compare(string(a.Process), string(b.Process)) })
@@ -142,9 +142,9 @@
 	}
 }
 
-// TestReports checks that columns and keys stay as operators and their scripts rely
-// on them, that no control characters reach a terminal, and that JSON is valid and
-// has no null in place of a list.
+// TestReports checks that the columns and keys on which operators and their scripts
+// rely stay the same, that text has no escape character, which could control a
+// terminal, and that JSON is valid and has no null in place of a list.
 func TestReports(t *testing.T) {
 	for name, render := range renderers() {
 		t.Run(name, func(t *testing.T) {
@@ -163,8 +163,8 @@
 	}
 }
 
-// TestPage checks that text from callers and upstreams never becomes markup, and
-// that the page loads no resources from other hosts.
+// TestPage checks that text from callers, upstreams and other processes never becomes
+// markup, and that the page loads no resources from other hosts.
 func TestPage(t *testing.T) {
 	var b bytes.Buffer
 	assert.NilError(t, report.Timeline(&b, report.FormatHTML, events()))
@@ -195,8 +195,8 @@
 	t.Logf("%d bytes", b.Len())
 }
 
-// TestPageOfFaultyStamps checks that events of a process with a broken clock do not
-// make the page fail for all processes.
+// TestPageOfFaultyStamps checks that events of a process with a wrong clock do not
+// keep the page from being written.
 func TestPageOfFaultyStamps(t *testing.T) {
 	var faulty []model.Event
 	for _, wall := range []clock.Millis{math.MaxInt64, 0, math.MinInt64, start} {
@@ -207,8 +207,8 @@
 	assert.Equal(t, strings.Count(b.String(), "<tr class"), len(faulty))
 }
 
-// TestNotFound checks that a misspelt customer or format is an error, not an empty
-// report.
+// TestNotFound checks that an unknown customer or format is an error and does not
+// give an empty report.
 func TestNotFound(t *testing.T) {
 	err := report.Contract(io.Discard, report.FormatText, status(), "pomar")
 	var e *report.Error
@@ -217,7 +217,8 @@
 	assert.ErrorContains(t, err, "yaml")
 }
 
-// TestEventCodec checks that encoding and decoding both handle every field.
+// TestEventCodec checks that no field of an event is lost when it is encoded and
+// decoded.
 func TestEventCodec(t *testing.T) {
 	text := func(t *rapid.T, name string) string { return rapid.StringN(0, 8, -1).Draw(t, name) }
 	rapid.Check(t, func(t *rapid.T) {
@@ -238,7 +239,8 @@
 	})
 }
 
-// TestEventDecodeErrors checks that a damaged response is not taken for events.
+// TestEventDecodeErrors checks that unknown keys are ignored, and that a truncated or
+// otherwise malformed response is rejected.
 func TestEventDecodeErrors(t *testing.T) {
 	whole := `{"stamp-ms":1,"stamp-count":0,"process":"e1","seq":1,"kind":"wait","new-key":[]}`
 	events, err := report.EventsFromJSON([]byte("[" + whole + "]"))
--- a/io/proto/report/text.go
+++ b/io/proto/report/text.go
@@ -19,8 +19,8 @@
 
 func newTable(header ...string) *table { return &table{header: header} }
 
-// add appends a row. An empty cell is shown as "-", so that columns can be split
-// at white space.
+// add appends a row. An empty cell is shown as "-", so that scripts that split rows
+// at white space find as many columns as without empty cells.
 func (t *table) add(cells ...any) {
 	row := make([]string, len(cells))
 	for i, c := range cells {
@@ -65,7 +65,7 @@
 	}, s)
 }
 
-// timeText returns a time in UTC, or "never" for 0.
+// timeText returns the date and the time in UTC, or "never" for 0.
 func timeText(m clock.Millis) string {
 	if m == 0 {
 		return "never"
@@ -73,9 +73,8 @@
 	return time.UnixMilli(int64(m)).UTC().Format("2006-01-02T15:04:05.000Z")
 }
 
-// spanText returns a duration in the largest unit that divides it without
-// remainder.
-func spanText(m clock.Millis) string {
+// durationText returns a duration in the largest unit of which it is a whole number.
+func durationText(m clock.Millis) string {
 	for _, u := range []struct {
 		unit clock.Millis
 		name string
@@ -87,8 +86,8 @@
 	return strconv.FormatInt(int64(m), 10) + "ms"
 }
 
-// ageText returns the time from then to now, rounded to 0.1 s, or "never" if then
-// is 0.
+// ageText returns the duration from then to now, rounded to 0.1 s, or "never" if
+// then is 0.
 func ageText(now, then clock.Millis) string {
 	if then == 0 {
 		return "never"
