Polish clipped comments of codec, conf and report after a second reading

Read badly: 'file names the file in errors', 'Kind is the reason of an Error', 'claims without a token cannot be distinguished' (from what?), 'fields holds pairs: the name of a field, then its value', KindFormat without the case of an unknown name, textRule without a word on its fields.

--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -18,9 +18,8 @@
 }
 
 // CallFromWire converts a message to a call about jobs. It returns an error if
-// the kind is not defined or a submitted job is not valid. A submitted
-// job gets its ID from the Path or the JobID of the call; the ID in the job itself
-// is not used.
+// the kind is not defined or a submitted job is not valid. A submitted job gets its
+// ID from the Path or the JobID of the call; the ID in the job itself is not used.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
 	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
 	if err != nil {
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -98,8 +98,9 @@
 	return model.InstanceStep{Base: model.Version(w.GetBase()), Instance: i}, nil
 }
 
-// ClaimKeyToWire converts a claim key to its message. The idempotency key is
-// sent as bytes, because callers may choose one that is not UTF-8.
+// ClaimKeyToWire converts a claim key (customer, service and idempotency key) to its
+// message. The idempotency key is sent as bytes, because callers may choose one that
+// is not UTF-8.
 func ClaimKeyToWire(k model.ClaimKey) *wirepb.ClaimKey {
 	return &wirepb.ClaimKey{Customer: validUTF8(k.Customer), Service: validUTF8(k.Service), Key: []byte(k.Key)}
 }
@@ -119,13 +120,14 @@
 	return k, nil
 }
 
-// ClaimToWire converts a claim to its message.
+// ClaimToWire converts the claim of an idempotency key to its message.
 func ClaimToWire(c model.Claim) *wirepb.Claim {
 	return &wirepb.Claim{Key: ClaimKeyToWire(c.Key), Token: validUTF8(c.Token), Owner: validUTF8(c.Owner)}
 }
 
-// ClaimFromWire converts a message to a claim. It returns an error if the token
-// is empty, because claims without a token cannot be distinguished.
+// ClaimFromWire converts a message to the claim of an idempotency key. It returns an
+// error if the token is empty, because claims of the same key could then not be
+// distinguished.
 func ClaimFromWire(w *wirepb.Claim) (model.Claim, error) {
 	k, err := ClaimKeyFromWire(w.GetKey())
 	if err != nil {
--- a/io/proto/codec/errors.go
+++ b/io/proto/codec/errors.go
@@ -41,8 +41,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// required returns an error if one of the fields is empty. fields holds pairs:
-// the name of a field, then its value.
+// required returns an error if a field is empty. fields holds the name and the value
+// of each field in turn.
 func required(op string, fields ...string) error {
 	for i := 0; i+1 < len(fields); i += 2 {
 		if fields[i+1] == "" {
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -93,9 +93,9 @@
 	return w
 }
 
-// jobRecordToWire converts the record of a job to its message. The message holds only
-// the tasks whose state differs from the initial one; At is the position of such a
-// task, counted from 0 over all steps of its occurrence.
+// jobRecordToWire converts the record of a job to its message. The message holds
+// only the tasks whose state differs from the initial one; At is the position of such
+// a task, counted from 0 over all steps of its occurrence.
 func jobRecordToWire(r *jobs.Record) *wirepb.JobRecord {
 	w := &wirepb.JobRecord{
 		Job: JobToWire(r.Job), Seq: r.Seq, Status: int32(r.Status), Started: r.EverAssigned, EndedMs: int64(r.EndedAt),
@@ -143,7 +143,7 @@
 }
 
 // jobRecordFromWire converts a message to the record of a job. Tasks that are not in
-// the message keep their initial state.
+// the message have the initial state.
 func jobRecordFromWire(w *wirepb.JobRecord) (*jobs.Record, error) {
 	j, err := JobFromWire(w.GetJob())
 	if err != nil {
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -138,7 +138,8 @@
 	return &Error{Op: "state", Kind: kind, Err: fmt.Errorf(format, args...)}
 }
 
-// restoreObjects adds the contracts, instances and declared maintenance to s.
+// restoreObjects adds the contracts, the instances and the declared maintenance in
+// the message to s.
 func restoreObjects(s *fleet.State, w *wirepb.FleetSnapshot) error {
 	contracts, err := tryMapAll(w.GetContracts(), ContractFromWire)
 	if err != nil {
@@ -165,8 +166,7 @@
 }
 
 // restoreResults adds the results to s in the order of the message, oldest first,
-// because the entries of an ExpiringMap expire in the order in which Put
-// added them.
+// because the entries of an ExpiringMap expire in the order in which Put adds them.
 func restoreResults(s *fleet.State, w *wirepb.FleetSnapshot) error {
 	var lastTime clock.Millis
 	for n, m := range w.GetResults() {
--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// checkAtMost adds a problem if value, which key has, is above limit, which limitKey
-// has in the same section.
+// checkAtMost adds a problem if value is above limit. They are the values of key and
+// of limitKey, both in the given section.
 func (d *decoder[T]) checkAtMost(section, key string, value clock.Millis, limitKey string, limit clock.Millis) {
 	if value > limit && d.noProblemIn(section+"/"+key, section+"/"+limitKey) {
 		d.addProblem(section, key, fmt.Sprint(value), "above "+limitKey, fmt.Sprintf("at most %d", limit))
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -174,17 +174,17 @@
 // LoadContract reads a contract from a file.
 func LoadContract(path string) (model.Contract, error) { return load(path, ParseContract) }
 
-// ParseEntry parses the settings of an entry process. file names the file in errors.
+// ParseEntry parses the settings of an entry process. Errors name the input as file.
 func ParseEntry(file string, data []byte) (Entry, error) {
 	return decode("entry settings", file, data, entryKeys(), checkEntry)
 }
 
-// ParseControl parses the settings of a control process. file names the file in errors.
+// ParseControl parses the settings of a control process. Errors name the input as file.
 func ParseControl(file string, data []byte) (Control, error) {
 	return decode("control settings", file, data, controlKeys(), checkControl)
 }
 
-// ParseContract parses a contract. file names the file in errors.
+// ParseContract parses a contract. Errors name the input as file.
 func ParseContract(file string, data []byte) (model.Contract, error) {
 	return decode("contract", file, data, contractKeys(), checkContract)
 }
--- a/io/proto/conf/conf_test.go
+++ b/io/proto/conf/conf_test.go
@@ -14,7 +14,7 @@
 	"camphorridge/io/proto/conf"
 )
 
-// loadByName loads a file. The start of its name says of which kind it is.
+// loadByName loads a file. The prefix of its name determines the kind of file.
 func loadByName(path string) (any, error) {
 	switch name := filepath.Base(path); {
 	case strings.HasPrefix(name, "control"):
--- a/io/proto/conf/decode.go
+++ b/io/proto/conf/decode.go
@@ -138,7 +138,7 @@
 
 // handleAbsentKeys sets the defaults of absent keys and reports required keys that
 // are absent. A section without the placeholder is handled even if the file lacks
-// it; a section with the placeholder only under the names that the file has.
+// it; sections with a chosen name are handled only if the file has them.
 func (d *decoder[T]) handleAbsentKeys() {
 	for _, k := range d.keys {
 		sections := []string{k.Section}
--- a/io/proto/conf/error.go
+++ b/io/proto/conf/error.go
@@ -6,10 +6,10 @@
 	"strings"
 )
 
-// Kind is the reason of an Error.
+// Kind is the reason for an Error.
 type Kind int
 
-// Reasons of an Error.
+// Reasons for an Error.
 const (
 	// KindRead: the file cannot be read or is too large.
 	KindRead Kind = iota
--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -26,7 +26,7 @@
 // LoadJob reads a job from a file.
 func LoadJob(path string) (jobs.Job, error) { return load(path, ParseJob) }
 
-// ParseJob parses a job. file names the file in errors.
+// ParseJob parses a job. Errors name the input as file.
 func ParseJob(file string, data []byte) (jobs.Job, error) {
 	f, err := decode("job", file, data, jobKeys(), checkJob)
 	return f.job, err
--- a/io/proto/conf/key.go
+++ b/io/proto/conf/key.go
@@ -54,7 +54,7 @@
 	return name, ok && model.ValidName(name)
 }
 
-// integer is the type of a numeric setting.
+// integer is the constraint for the types of numeric settings.
 type integer interface{ ~int | ~int64 }
 
 // intKey returns a key whose value is a whole number from lo to hi.
@@ -73,10 +73,11 @@
 	}
 }
 
-// textRule defines which values of a text key are allowed; allowed describes those
-// that accepts returns true for.
+// textRule defines which values of a text key are allowed.
 type textRule struct {
+	// allowed describes the values, for errors and for the reference page.
 	allowed string
+	// accepts reports whether a value is allowed.
 	accepts func(string) bool
 }
 
--- a/io/proto/conf/rule.go
+++ b/io/proto/conf/rule.go
@@ -9,7 +9,7 @@
 	"camphorridge/core/state/model"
 )
 
-// maxPathBytes is the longest path that the operating system accepts.
+// maxPathBytes is the length of the longest path that the operating system accepts.
 const maxPathBytes = 4096
 
 var nameRule = textRule{
--- a/io/proto/report/report.go
+++ b/io/proto/report/report.go
@@ -78,12 +78,13 @@
 	return 0, &Error{Op: "parse format", Kind: KindFormat, Err: fmt.Errorf("format is %q; allowed: text, json, html", s)}
 }
 
-// Kind is the reason of an Error.
+// Kind is the reason for an Error.
 type Kind int
 
-// Reasons of an Error.
+// Reasons for an Error.
 const (
-	// KindFormat: the report cannot be written in the given format.
+	// KindFormat: the format is unknown or not available for the report, or the
+	// output cannot be encoded in it.
 	KindFormat Kind = iota
 	// KindNotFound: the requested object does not exist.
 	KindNotFound
