--- a/io/proto/conf/job.go
+++ b/io/proto/conf/job.go
@@ -72,11 +72,11 @@
 		stepFlagKey("checkpoints", "tasks save checkpoints", func(s *jobs.Step) *bool { return &s.Checkpoints }),
 		stepFlagKey("gang", "tasks can only work together, all running at the same time", func(s *jobs.Step) *bool { return &s.Gang }),
 		stepFlagKey("same-rack", "tasks of the gang work faster on workers of one rack", func(s *jobs.Step) *bool { return &s.SameRack }),
-		stepFlagKey("copies", "a task may have several concurrent runs", func(s *jobs.Step) *bool { return &s.Speculative }),
+		stepFlagKey("copies", "several concurrent runs of a task are allowed; the scheduler never starts more than one", func(s *jobs.Step) *bool { return &s.Speculative }),
 		stepFlagKey("lasting", "tasks run until the job is cancelled", func(s *jobs.Step) *bool { return &s.LongRunning }),
 		stepFlagKey("filler", "tasks use processor time that other tasks leave unused", func(s *jobs.Step) *bool { return &s.BestEffort }),
 		stepTextKey("label", "label that a worker must have", func(s *jobs.Step) *string { return &s.RequiredLabel }),
-		stepTextKey("data-rack", "rack near the data of the tasks", func(s *jobs.Step) *string { return &s.DataRack }),
+		stepTextKey("data-rack", "rack closest to the data of the tasks", func(s *jobs.Step) *string { return &s.DataRack }),
 		stepTextKey("image", "image that the tasks run; tasks with the same image behave alike", func(s *jobs.Step) *string { return &s.Image }),
 		{
 			Section: "step " + namePlaceholder, Name: "after", Optional: true, Allowed: "names of earlier steps in the file, separated by commas",
