Rename entry.Dispatcher.Ask to Acquire and runner.Runner.Leave to RemoveWorker

Ask didn't say that the call reserves a slot which Done releases; Acquire is the usual name. Leave read as if the runner left; it removes a worker, as sched.Scheduler.RemoveWorker does.

BenchmarkAsk and its metric asks/s keep their names, which recorded results use.

--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// BenchmarkAsk measures an Ask followed by Done, with 6 goroutines per processor,
+// BenchmarkAsk measures an Acquire followed by Done, with 6 goroutines per processor,
 // with lending disabled and with lending enabled but unused.
 func BenchmarkAsk(b *testing.B) {
 	for _, lease := range []clock.Millis{0, 2 * clock.Second} {
@@ -34,7 +34,7 @@
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			g, f := d.Ask(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+			g, f := d.Acquire(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
 			if f != nil {
 				b.Errorf("refused: %s", f.Reason)
 				return
@@ -50,14 +50,14 @@
 // BenchmarkRefuse measures requests that are refused because the queue is full.
 func BenchmarkRefuse(b *testing.B) {
 	d := start(b, 1, contract("acme", 1, 0))
-	_, f := d.Ask(b.Context(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+	_, f := d.Acquire(b.Context(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
 	assert.Assert(b, f == nil)
 	b.ReportAllocs()
 	b.SetParallelism(6)
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			if _, f := d.Ask(context.Background(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}); f == nil {
+			if _, f := d.Acquire(context.Background(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}); f == nil {
 				b.Error("granted beyond the share")
 			}
 		}
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Ask waits until a request is granted or refused. Exactly one of the results is
+// Acquire waits until a request is granted or refused. Exactly one of the results is
 // set. A refused request has not run; the holder of a grant must call Done once.
-func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
+func (d *Dispatcher[P, Q, L]) Acquire(ctx context.Context, r Request) (Grant, *Refusal) {
 	p := d.requestPool.Get().(*pendingRequest)
 	p.request = r
 	if !d.in.TryPut(message{kind: messageRequest, request: p}) {
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -59,7 +59,7 @@
 }
 
 func ask(ctx context.Context, d *testDispatcher) (Grant, *Refusal) {
-	return d.Ask(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+	return d.Acquire(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
 }
 
 func mustAsk(t testing.TB, d *testDispatcher) Grant {
@@ -136,14 +136,14 @@
 		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalNoContract},
 		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalNoContract},
 	} {
-		_, f := d.Ask(t.Context(), c.r)
+		_, f := d.Acquire(t.Context(), c.r)
 		assert.Equal(t, f.Kind, c.kind, f.Reason)
 	}
 	d.Done(g.Ticket, OutcomeOK, 1)
 	retry := Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60, Retry: true, Avoid: g.Upstream.Instance}
-	g2, f := d.Ask(t.Context(), retry)
+	g2, f := d.Acquire(t.Context(), retry)
 	assert.Assert(t, f == nil && g2.Upstream.Instance != g.Upstream.Instance)
-	_, f = d.Ask(t.Context(), retry)
+	_, f = d.Acquire(t.Context(), retry)
 	assert.Equal(t, f.Reason, "retry budget spent")
 	a := announcement("ia", 1)
 	a.State = model.AnnounceLeaving
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -250,9 +250,9 @@
 	}
 }
 
-// Leave reports that a worker ended by itself. It returns false when the ring
+// RemoveWorker reports that a worker ended by itself. It returns false when the ring
 // is full.
-func (r *Runner[G, M, O, J]) Leave(id jobs.WorkerID, incarnation jobs.Incarnation) bool {
+func (r *Runner[G, M, O, J]) RemoveWorker(id jobs.WorkerID, incarnation jobs.Incarnation) bool {
 	return r.in.TryPut(input{departure: &departure{worker: id, incarnation: incarnation}})
 }
 
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -163,7 +163,7 @@
 	req := entry.Request{Customer: x.parsed.customer, Pool: x.parsed.service, Deadline: x.deadline, ID: x.id}
 	reason := ""
 	for attempt := 1; ; attempt++ {
-		grant, refusal := f.dispatcher.Ask(x.ctx, req)
+		grant, refusal := f.dispatcher.Acquire(x.ctx, req)
 		switch {
 		case refusal != nil && x.fallback != nil:
 			return f.deliver(x, x.fallback, OutcomeNotRun)
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -71,9 +71,9 @@
 // Dispatcher grants upstream slots to requests or refuses them. The production
 // implementation is entry.Dispatcher.
 type Dispatcher interface {
-	// Ask waits until the request is granted or refused. If the refusal is nil,
+	// Acquire waits until the request is granted or refused. If the refusal is nil,
 	// Done must be called once for the grant.
-	Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal)
+	Acquire(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal)
 	// Done releases a grant. It reports the outcome of the attempt and the time
 	// that it took.
 	Done(t entry.Ticket, o entry.Outcome, elapsed clock.Millis)
--- a/io/trans/roles/latency.go
+++ b/io/trans/roles/latency.go
@@ -23,11 +23,11 @@
 	return &timedDispatcher{dispatcher: d, clock: c, waitMillis: admin.NewHistogram(), elapsedMillis: admin.NewHistogram()}
 }
 
-// Ask calls the dispatcher's Ask and records the time until the request is granted
+// Acquire calls the dispatcher's Acquire and records the time until the request is granted
 // or refused.
-func (t *timedDispatcher) Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
+func (t *timedDispatcher) Acquire(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
 	began := t.clock.Now()
-	g, f := t.dispatcher.Ask(ctx, r)
+	g, f := t.dispatcher.Acquire(ctx, r)
 	t.waitMillis.Update(int64(t.clock.Now() - began))
 	return g, f
 }
