--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -73,8 +73,9 @@
 	}
 }
 
-// Moves returns the release steps that start moves, and the waits for what no
-// move can provide. It plans again only after a change, or when an instance has
+// Moves returns the release steps that start moves, and one Wait for each
+// requirement that no move can meet and each reaction to a surge. It plans again
+// only after a change of the table or of the surge extras, or when an instance has
 // been lost for RepairAfter.
 func (c *CapacityPlanner[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
 	for id, i := range c.lost {
@@ -103,7 +104,8 @@
 	return steps, c.waits()
 }
 
-// waits returns the gaps of the last assignment and the reasons of surge actions.
+// waits returns the gaps of the last assignment and the current reactions to
+// surges as waits for operators.
 func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
 	for _, g := range c.lastAssignment.Gaps {
@@ -117,6 +119,6 @@
 	return waits
 }
 
-// Invalidate makes the next call of Moves plan again. It is called when steps were
-// not applied.
+// Invalidate makes the next call of Moves plan again. Call it when the steps that
+// Moves returned were not applied.
 func (c *CapacityPlanner[A, S]) Invalidate() { c.dirty = true }
--- a/core/coord/mover/doc.go
+++ b/core/coord/mover/doc.go
@@ -1,5 +1,7 @@
-// Package mover turns decisions about instances into steps of the replicated
-// log. It runs on the leader of the control group: it adds announced instances
-// to the fleet, finishes releases once every entry process of the zone has
-// confirmed them, and hands instances over to the platform for maintenance.
+// Package mover is the control loop that changes the instances of the fleet. It
+// runs on the leader of the control group and proposes changes to the replicated
+// log: it adds announced instances to the fleet, marks lost ones, moves instances
+// between pools, and hands them over to the platform for maintenance. A released
+// instance moves on only after every entry process of its zone has confirmed the
+// release.
 package mover
--- a/core/coord/mover/load.go
+++ b/core/coord/mover/load.go
@@ -11,15 +11,16 @@
 	loadInterval = 5 * clock.Second
 	// loadDecay is the factor applied to the counts after each update, so that
 	// they cover about the last three minutes. Counts of the latest interval alone
-	// had no effect on the waves, because a load peak is shorter than a
-	// maintenance.
+	// have no effect on the waves, because a load peak is shorter than the
+	// maintenance of an instance.
 	loadDecay = 0.97
-	// minRequests is the number of requests below which the share of unserved
+	// minRequests is the number of requests below which the share of failed
 	// requests counts as 0.
 	minRequests = 20
 )
 
-// loadTotals holds decaying sums of the load reports of all entry processes.
+// loadTotals holds the sums of the load reports of all entry processes. They decay
+// by loadDecay.
 type loadTotals struct {
 	customers map[model.Customer]requestCount
 	instances map[model.InstanceID]requestCount
@@ -27,8 +28,8 @@
 	updatedAt clock.Millis
 }
 
-// requestCount counts requests and, as failed, the unserved requests of a customer
-// or the failed requests of an instance.
+// requestCount counts all requests and the failed ones of a customer or an
+// instance. Failed requests of a customer are those that were not served.
 type requestCount struct{ total, failed float64 }
 
 func newLoadTotals() loadTotals {
@@ -47,9 +48,9 @@
 	}
 }
 
-// permille returns the share of requests counted as failed in permille, or 0 when
-// there are fewer than minRequests.
-func (c requestCount) permille() int {
+// failedPermille returns the share of failed requests in permille, or 0 when there
+// are fewer than minRequests requests.
+func (c requestCount) failedPermille() int {
 	if c.total < minRequests {
 		return 0
 	}
@@ -68,10 +69,9 @@
 	}
 }
 
-// observeLoad passes the shares of unserved requests of customers and the failure
-// counts of instances to the wave planner, so that waves slow down while many
-// requests are unserved, and stop when maintained instances fail more than their
-// peers.
+// observeLoad passes each customer's share of unserved requests and each instance's
+// failure count to the wave planner. Waves slow down while many requests are not
+// served, and stop when maintained instances fail more often than their peers.
 func (m *Mover[G, P, C, J, A, S]) observeLoad(now clock.Millis) {
 	t := &m.load
 	if now-t.updatedAt < loadInterval {
@@ -79,7 +79,7 @@
 	}
 	t.updatedAt = now
 	for name := range m.table.Contracts {
-		m.Waves.SetUnservedPermille(name, t.customers[name].permille())
+		m.Waves.SetUnservedPermille(name, t.customers[name].failedPermille())
 	}
 	for id, c := range t.instances {
 		o := m.observed[id]
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -21,9 +21,9 @@
 	// warmUpTime is how long a new leader collects reports before it marks absent
 	// instances as lost or moves instances; entry processes report every second.
 	warmUpTime = 5 * clock.Second
-	// LossGrace is the time after which an absent instance is marked as lost,
-	// counted from when no entry process reports it any more: by then the lease
-	// of its announcement has expired.
+	// LossGrace is how long an instance must be absent before it is marked as
+	// lost. Absence starts when no entry process reports the instance any more,
+	// which is after the lease of its announcement has expired.
 	LossGrace = 2 * clock.Second
 	// callTimeout is the limit for one call to the group or the platform.
 	callTimeout clock.Millis = 2000
@@ -69,7 +69,8 @@
 	// inMaintenance holds the instances that are released for maintenance or in
 	// maintenance.
 	inMaintenance map[model.InstanceID]bool
-	// silentZones holds the zones without a recent report of an entry process.
+	// silentZones records for each zone whether observeSilentZones last found it
+	// without a recent report of an entry process.
 	silentZones map[model.Zone]bool
 	// observed holds the last observation of each instance that was passed to the
 	// wave planner.
@@ -79,15 +80,17 @@
 	// lastOutage is the last finished outage that was read from the state.
 	lastOutage    model.Outage
 	termStartedAt clock.Millis
-	// rebootRequestedAt holds the time of the last reboot request in this term.
+	// rebootRequestedAt holds, for each instance in maintenance, the time of its
+	// last reboot request in this term.
 	rebootRequestedAt map[model.InstanceID]clock.Millis
-	// waits holds what the last pass could not do yet.
+	// waits holds the waits of the last pass.
 	waits []Wait
 	// term is the last term in which this member led.
 	term uint64
 }
 
-// input is an entry of the ring: a report, or a status query.
+// input is an element of the ring: a report, or a status query, whose answer is
+// sent to status.
 type input struct {
 	report *follow.Report
 	status chan<- Status
@@ -124,8 +127,8 @@
 	return m
 }
 
-// reset clears the state that belongs to a term: entry processes send complete
-// reports to a new leader.
+// reset clears the state that belongs to a term. Nothing is lost, because entry
+// processes send complete reports to a new leader.
 func (m *Mover[G, P, C, J, A, S]) reset(term uint64) {
 	m.term = term
 	m.registry = NewRegistry()
@@ -208,9 +211,9 @@
 		i.status <- Status{Processes: m.registry.List(), Waits: append([]Wait(nil), m.waits...)}
 		return false
 	}
-	// Entry processes report an unchanged instance once in a term, so a report
-	// that arrives before the first pass of a term must not be lost to the reset
-	// by that pass.
+	// Reset for a new term before the report is added. Otherwise the first pass of
+	// the term would discard the report, and entry processes report an unchanged
+	// instance only once in a term.
 	m.followTerm()
 	drainedBefore := m.registry.Processes[i.report.Process].Drained
 	m.registry.AddReport(*i.report, m.Clock.Now())
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -76,13 +76,13 @@
 	ctx, cancel := m.callContext()
 	defer cancel()
 	var c StateChanges
-	err := m.Group.Query(ctx, func(s *fleet.State) { c = collect(s, m.table.Version, m.lastOutage) })
+	err := m.Group.Query(ctx, func(s *fleet.State) { c = collectChanges(s, m.table.Version, m.lastOutage) })
 	if err != nil {
 		return false
 	}
 	if !fleet.Merge(&m.table, c.Delta) {
-		// The state is older than the copy, because a snapshot of another leader
-		// was installed. The next pass starts from an empty copy.
+		// The state is older than the mover's copy, because a snapshot of another
+		// leader was installed. The next pass starts from an empty copy.
 		m.reset(m.term)
 		return false
 	}
@@ -98,8 +98,8 @@
 	return true
 }
 
-// trackInstance updates the sets of moving and maintained instances for a
-// changed instance.
+// trackInstance updates moving, inMaintenance and the observation for a changed
+// instance.
 func (m *Mover[G, P, C, J, A, S]) trackInstance(i model.Instance, now clock.Millis) {
 	delete(m.moving, i.ID)
 	delete(m.inMaintenance, i.ID)
@@ -130,8 +130,8 @@
 }
 
 // observeSilentZones reports the instances of silent zones as lost to the wave
-// planner, without marking them in the replicated log, and withdraws that when a
-// process of the zone reports again.
+// planner, until an entry process of the zone reports again. It doesn't mark them
+// as lost in the replicated log.
 func (m *Mover[G, P, C, J, A, S]) observeSilentZones(now clock.Millis) {
 	if now-m.termStartedAt < warmUpTime {
 		return
@@ -168,7 +168,8 @@
 			l, live := m.registry.Live[id]
 			o.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
 				l.Announcement.State == model.AnnounceServing
-			// Announcements are accepted only from upstream processes that serve.
+			// Only an upstream process that serves announces itself as serving, so
+			// no further check is needed.
 			o.Verified = o.Restarted
 		}
 		m.setObservation(id, o)
@@ -260,8 +261,8 @@
 	m.Events(model.Event{Kind: model.EventWave, Instance: i.ID, Pool: i.Pool, Detail: detail})
 }
 
-// eventKind returns the kind of event for a step of an instance: a finished move,
-// a finished maintenance or any other step.
+// eventKind returns the kind of event for a step that changes an instance from
+// before to next: a finished move, a finished maintenance or any other step.
 func eventKind(before, next model.Instance) model.EventKind {
 	switch {
 	case before.ID != "" && before.Pool != next.Pool:
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -34,19 +34,20 @@
 	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
 	// NewlyAnnounced holds the instances that were announced since the last
-	// ClearEnrolled, to enrol them or to clear their lost mark. It keeps the cost
-	// of a pass proportional to the changes.
+	// ClearEnrolled. They are to be enrolled or, if they were marked as lost, to be
+	// cleared of the mark. It keeps the cost of a pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
-	// Absent holds the instances of the fleet that no entry process reports, or
-	// only silent ones, with the time since when.
+	// Absent holds, for each instance that is reported by no entry process or
+	// only by silent ones, the time since when.
 	Absent map[model.InstanceID]clock.Millis
 	// SilentProcesses holds the entry processes that stopped reporting while
-	// others of their zone still report. Their last reports do not count for the
-	// presence of an instance: they may never report again and would hide its
-	// loss.
+	// others of their zone still report. Their last reports don't keep an instance
+	// present: they may never report again and would hide the loss of the
+	// instance.
 	SilentProcesses map[model.Process]bool
 	// DeclaredGone holds the entry processes that were declared gone, with the
-	// time of the declaration. Their runs that started before it have ended.
+	// time of the declaration. Runs of the process that started before that time
+	// have ended.
 	DeclaredGone map[model.Process]clock.Millis
 }
 
@@ -139,9 +140,9 @@
 	}
 }
 
-// clearSilent handles an entry process that reports again: the instances that it
-// reported before are no longer absent. This is needed because a process that
-// was only frozen reports nothing but changes.
+// clearSilent handles a silent entry process that reports again: the instances
+// that it reported before are no longer absent. Its new reports don't say so,
+// because a process that was only suspended reports nothing but changes.
 func (g *Registry) clearSilent(p model.Process) {
 	delete(g.SilentProcesses, p)
 	for id, l := range g.Live {
@@ -220,8 +221,8 @@
 	return true
 }
 
-// ClearEnrolled removes from NewlyAnnounced the instances that are part of the
-// fleet or no longer live.
+// ClearEnrolled removes from NewlyAnnounced the instances that are in table t or
+// are no longer live.
 func (g *Registry) ClearEnrolled(t model.Table) {
 	for id := range g.NewlyAnnounced {
 		_, known := t.Instances[id]
--- a/core/coord/mover/steps.go
+++ b/core/coord/mover/steps.go
@@ -23,7 +23,7 @@
 	Reason string
 }
 
-// Enrol returns the steps that add announced instances to the fleet. Their
+// Enrol returns the steps that add newly announced instances to the fleet. Their
 // maintenance period starts at now.
 func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
@@ -96,7 +96,8 @@
 }
 
 // StepFromPlan converts a step of a maintenance plan into a step of the
-// replicated log. ok is false for plan steps that don't change the instance there.
+// replicated log. ok is false for plan steps that don't change the instance in the
+// log.
 func StepFromPlan(s maint.Step, i model.Instance, g *Registry, now clock.Millis) (step model.InstanceStep, ok bool) {
 	next := i
 	next.Reason = s.Reason
--- a/core/coord/mover/surgeplanner.go
+++ b/core/coord/mover/surgeplanner.go
@@ -21,16 +21,16 @@
 	interval clock.Millis
 }
 
-// SurgePlanner decides with package plan how to react to demand that exceeds the
-// slots of a pool, and when to undo the reaction.
+// SurgePlanner decides with package plan how to react to a surge, which is demand
+// that exceeds the slots of a pool, and when to undo the reaction.
 type SurgePlanner[S plan.Chooser] struct {
 	chooser S
 	weights plan.Weights
 	// Enabled is false when surges are handled by queueing alone.
 	Enabled       bool
 	demandReports map[model.Process]demandReport
-	// highSince and lowSince hold the pools with high and with low demand, with
-	// the time since when.
+	// highSince and lowSince hold, for each pool with high or with low demand, the
+	// time since when the demand is high or low.
 	highSince map[model.Pool]clock.Millis
 	lowSince  map[model.Pool]clock.Millis
 	decidedAt clock.Millis
@@ -79,7 +79,7 @@
 		return nil, false
 	}
 	holdings := holdingsOf(t)
-	s.updateSince(holdings, demands, now)
+	s.updateDemandTimes(holdings, demands, now)
 	choices, next := plan.Surge(s.chooser, s.weights, holdings, demands, now)
 	s.reasons = s.reasons[:0]
 	for _, c := range choices {
@@ -104,8 +104,8 @@
 	return true
 }
 
-// demands returns the demand per pool, summed over the recent reports of the
-// entry processes.
+// demands returns the demand of each pool, summed over the entry processes that
+// reported within SilentAfter.
 func (s *SurgePlanner[S]) demands(now clock.Millis) []plan.Demand {
 	sums := map[model.Pool]*plan.Demand{}
 	var order []model.Pool
@@ -135,9 +135,9 @@
 	return out
 }
 
-// updateSince updates since when the demand of each pool has been high or low,
-// including pools without demand.
-func (s *SurgePlanner[S]) updateSince(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
+// updateDemandTimes updates highSince and lowSince for all pools, including those
+// without demand, and copies the times to demands.
+func (s *SurgePlanner[S]) updateDemandTimes(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
 	byPool := make(map[model.Pool]*plan.Demand, len(demands))
 	for i := range demands {
 		byPool[demands[i].Pool] = &demands[i]
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -17,7 +17,7 @@
 	stopPolicy J
 	settings   maint.Settings
 	planner    *maint.Planner[P, J]
-	// declaredVersions holds, by name of the declaration, the version that was
+	// declaredVersions holds, for each declared wave by name, the version that was
 	// last passed to the planner.
 	declaredVersions map[string]model.Version
 }
@@ -80,7 +80,7 @@
 	w.planner.SetUnservedPermille(c, permille)
 }
 
-// Pass returns the steps that are due.
+// Pass plans the waves at time now and returns the steps that are due.
 func (w *WavePlanner[P, J]) Pass(now clock.Millis) maint.Plan { return w.planner.Pass(now) }
 
 // StateChanges holds the changes of the replicated state since the last pass of
@@ -98,15 +98,15 @@
 	Outages []model.Outage
 }
 
-// collect returns the changes of the state since the table's version from and
-// since the outage after, the last one that was read.
-func collect(s *fleet.State, from model.Version, after model.Outage) StateChanges {
+// collectChanges returns the changes of the table after version from, and the
+// outages that ended after lastOutage.
+func collectChanges(s *fleet.State, from model.Version, lastOutage model.Outage) StateChanges {
 	c := StateChanges{Delta: s.Delta(from), Maintenance: make(map[string]model.Maintenance, len(s.Maintenance))}
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
 	c.DeclaredGone = maps.Clone(s.GoneProcesses)
-	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != after; i-- {
+	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != lastOutage; i-- {
 		c.Outages = append(c.Outages, s.Outages[i])
 	}
 	slices.Reverse(c.Outages)
