Reword entry: comments, names and test labels

Read badly: the package comment ("owns admission"), RefusalCapacity (it left out the share), DefaultRingSize ("holds one message"), command.loans (a function), "the table's entry" next to entry processes, refusedByPool and Demand (only refusals that the fleet caused count), complete and cancel, and in the tests f for a refusal, w and k, and the labels stray and lapsed. They say now which share, which refusals and which state is meant; the names are loanFunc, refusal, caller and call. The labels and one benchmark message are plainer; the conditions are the same.

--- a/core/coord/entry/admission.go
+++ b/core/coord/entry/admission.go
@@ -6,8 +6,8 @@
 	"camphorridge/core/state/model"
 )
 
-// earlyTimeoutFactor is the multiple of the typical run time below which a
-// timeout is attributed to a short deadline of the caller and not to the upstream.
+// earlyTimeoutFactor is the multiple of the typical run time below which a timeout
+// is attributed to a short deadline set by the caller and not to the upstream.
 const earlyTimeoutFactor = 2
 
 // admit grants, queues or refuses a request.
@@ -31,8 +31,8 @@
 		d.refuse(req, d.refusal(admit.ReasonDeadline, r.Pool))
 		return
 	}
-	// While other waiting requests could run, a new one joins the queue, so that
-	// the choice among them stays fair.
+	// While requests that could run are waiting, a new one joins the queue, so that
+	// the choice among all of them stays fair.
 	if q.CanRun() && q.Len() == 0 && !d.admission.HasRunnable(r.Pool) {
 		if picked, ok := d.pick(now, r.Pool, r.Avoid); ok {
 			d.admission.Start(q)
@@ -57,8 +57,8 @@
 	return admit.ReasonNone
 }
 
-// queue adds a request to its queue, or refuses it when no upstream can serve it
-// or the queue doesn't accept it.
+// queue adds a request to queue q, or refuses it when no upstream can serve it or
+// the queue doesn't accept it.
 func (d *Dispatcher[P, Q, L]) queue(now clock.Millis, req *pendingRequest, q *admit.Queue[*pendingRequest]) {
 	r := &req.request
 	upstreams, slots := d.router.Routable(r.Pool)
@@ -74,9 +74,9 @@
 	capacity := max(d.capacity(now, r.Pool), 1)
 	w, reason := d.admission.Enqueue(now, r.Deadline, q, capacity, req)
 	if reason != admit.ReasonNone {
-		f := d.refusal(reason, r.Pool)
-		f.RetryAfter = max(q.EstimateWait(capacity), d.admission.TypicalRunTime(r.Pool), 1)
-		d.refuse(req, f)
+		refusal := d.refusal(reason, r.Pool)
+		refusal.RetryAfter = max(q.EstimateWait(capacity), d.admission.TypicalRunTime(r.Pool), 1)
+		d.refuse(req, refusal)
 		return
 	}
 	req.waiter = w
@@ -121,8 +121,8 @@
 	req.reply <- struct{}{}
 }
 
-// complete releases the slot of a grant. A ticket that is not in flight is ignored
-// and counted.
+// complete releases the slot of a grant. A ticket without an active grant is
+// counted and otherwise ignored.
 func (d *Dispatcher[P, Q, L]) complete(now clock.Millis, m message) {
 	index, number := uint32(m.ticket), uint32(m.ticket>>32)
 	if int(index) >= len(d.grants) || d.grants[index].number != number || d.grants[index].queue == nil {
@@ -165,8 +165,8 @@
 	}
 }
 
-// cancel removes a request from its queue and refuses it. When the request was
-// granted before, cancelRequest gives the grant back.
+// cancel removes a request from its queue and refuses it. It does nothing when the
+// request was answered before; cancelRequest releases the grant if there is one.
 func (d *Dispatcher[P, Q, L]) cancel(req *pendingRequest) {
 	if req.waiter == nil {
 		return
--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -34,9 +34,9 @@
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			g, f := d.Acquire(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
-			if f != nil {
-				b.Errorf("refused: %s", f.Reason)
+			g, refusal := d.Acquire(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+			if refusal != nil {
+				b.Errorf("refused: %s", refusal.Reason)
 				return
 			}
 			d.Done(g.Ticket, OutcomeOK, 1)
@@ -50,15 +50,15 @@
 // BenchmarkRefuse measures requests that are refused because the queue is full.
 func BenchmarkRefuse(b *testing.B) {
 	d := start(b, 1, contract("acme", 1, 0))
-	_, f := d.Acquire(b.Context(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
-	assert.Assert(b, f == nil)
+	_, refusal := d.Acquire(b.Context(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
+	assert.Assert(b, refusal == nil)
 	b.ReportAllocs()
 	b.SetParallelism(6)
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			if _, f := d.Acquire(context.Background(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}); f == nil {
-				b.Error("granted beyond the share")
+			if _, refusal := d.Acquire(context.Background(), Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60}); refusal == nil {
+				b.Error("granted although the customer is at its limit")
 			}
 		}
 	})
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -61,13 +61,13 @@
 }
 
 // Done releases a grant; o is the outcome of the request and elapsed its duration.
-// Done waits while the ring is full, so that no end of a request is lost while Run
-// is running.
+// Done waits while the ring is full, so that every grant is released while Run is
+// running.
 func (d *Dispatcher[P, Q, L]) Done(t Ticket, o Outcome, elapsed clock.Millis) {
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
 
-// ApplyDelta applies a change of the table. It fails with KindVersion when the delta
+// ApplyDelta applies a delta to the table. It fails with KindVersion when the delta
 // would lower the version or doesn't start at the version in force. An empty delta
 // from the version in force confirms the table after a pause.
 func (d *Dispatcher[P, Q, L]) ApplyDelta(delta model.Delta) error {
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -39,15 +39,15 @@
 	status       Status
 	table        model.Table
 	err          error
-	// instance holds the ID to look up, and then the table's entry; found is set
-	// when the table has it.
+	// instance holds the ID to look up and, after the command has been executed,
+	// the instance as the table has it; found is false when the table doesn't.
 	instance          model.Instance
 	found             bool
 	liveAnnouncements []model.Announcement
-	// loans is run by the event loop, for the calls that concern loans.
-	loans  func(now clock.Millis)
-	load   model.LoadReport
-	demand []model.PoolDemand
+	// loanFunc is the function that opLoans runs in the event loop.
+	loanFunc func(now clock.Millis)
+	load     model.LoadReport
+	demand   []model.PoolDemand
 	// reply is closed once the command has been executed.
 	reply chan struct{}
 }
@@ -78,11 +78,11 @@
 	case opLive:
 		c.liveAnnouncements = d.live(now)
 	case opLoans:
-		c.loans(now)
+		c.loanFunc(now)
 	}
-	// Publish before the caller is notified: then the caller sees what its command
-	// changed, and reads no drained version that was computed before the command
-	// and is too high after it.
+	// Publish before the caller is notified, so that the caller sees what its
+	// command changed. In particular it must not read a drained version that was
+	// computed before the command and is too high after it.
 	d.publish()
 	close(c.reply)
 }
@@ -155,8 +155,8 @@
 	d.refuseAll(d.admission.SetCustomer(c.Customer, share, c.Pools), admit.ReasonPoolNotCovered)
 }
 
-// updateDerivedLimits recomputes the concurrency limits that are derived from the
-// instances' slots.
+// updateDerivedLimits recomputes the limits of the contracts whose concurrency is
+// derived from the instances' slots.
 func (d *Dispatcher[P, Q, L]) updateDerivedLimits() {
 	for _, c := range d.table.Contracts {
 		if c.Concurrency == 0 {
@@ -171,7 +171,7 @@
 	}
 }
 
-// countedInstance holds the values with which countInstance counted an instance.
+// countedInstance holds the values under which countInstance counted an instance.
 type countedInstance struct {
 	pool  model.Pool
 	slots int
@@ -179,8 +179,8 @@
 	zone model.Zone
 }
 
-// countInstance updates slotCounts and servingByZone for a changed instance; i is
-// zero when the instance was removed.
+// countInstance updates slotCounts and servingByZone for the changed instance i with
+// the given ID; i is the zero value when the instance was removed.
 func (d *Dispatcher[P, Q, L]) countInstance(id model.InstanceID, i model.Instance) {
 	if old, ok := d.countedInstances[id]; ok {
 		d.slotCounts[old.pool][old.slots]--
@@ -219,9 +219,9 @@
 	}
 }
 
-// minSlots returns the slots of the smallest instance of a pool, by the rule of
-// limits.MinSlots: the derived concurrency must fit whichever instances are in
-// service. It depends on the table alone, so that all entry processes at the same
+// minSlots returns the slots of the smallest instance of a pool, as limits.MinSlots
+// does: the derived concurrency must fit whichever instances are in service. The
+// result depends on the table alone, so that all entry processes at the same
 // version derive the same limits.
 func (d *Dispatcher[P, Q, L]) minSlots(p model.Pool) int {
 	if len(d.slotCounts[p]) == 0 {
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// DefaultRingSize holds one message of each connection of a busy process.
+	// DefaultRingSize is the default of Settings.RingSize. It has room for one
+	// message from each connection of a busy process.
 	DefaultRingSize = 4096
-	// batchSize is the largest number of messages handled per reading of the clock.
+	// batchSize is the largest number of messages that are handled with one reading
+	// of the clock.
 	batchSize = 64
 	// tickInterval is the time between two checks for expired requests, and so the
 	// longest delay of their refusal.
@@ -34,7 +36,7 @@
 	messageCommand
 )
 
-// message is one entry of the ring.
+// message is one element of the ring.
 type message struct {
 	kind    messageKind
 	outcome Outcome
@@ -70,12 +72,13 @@
 	reservation
 	id string
 	// number is the upper half of the ticket. It grows with each use of the same
-	// element of Dispatcher.grants, so that old tickets are recognised.
+	// element of Dispatcher.grants, so that tickets of ended grants are recognised.
 	number uint32
 }
 
-// Dispatcher owns admission, routing, loans and announcements. The state belongs
-// to Run's goroutine; other goroutines send it messages through a ring.
+// Dispatcher admits and routes requests and manages loans and announcements. Its
+// state belongs to the goroutine that runs Run; other goroutines send it messages
+// through a ring.
 type Dispatcher[P admit.Picker, Q route.Policy, L lend.Policy] struct {
 	cfg         Settings
 	clk         clock.Clock
@@ -96,14 +99,16 @@
 	borrowing map[model.Pool]bool
 	// peaksRotatedAt is the time at which the router last started a new peak window.
 	peaksRotatedAt clock.Millis
-	poolDemands    []lend.PoolDemand
-	loanMessages   []lend.Message
-	ownSlots       []lend.UpstreamSlots
-	table          model.Table
+	// poolDemands, loanMessages and ownSlots are reused buffers.
+	poolDemands  []lend.PoolDemand
+	loanMessages []lend.Message
+	ownSlots     []lend.UpstreamSlots
+	table        model.Table
 	// ready is false before the first table, and after a pause of this process
 	// until the table is confirmed.
 	ready bool
-	// processRank and processCount determine this process's share of contracts.
+	// processRank and processCount determine this process's share of the limits of
+	// contracts.
 	processRank, processCount int
 	// slotCounts counts the instances of each pool by their number of slots.
 	slotCounts map[model.Pool]map[int]int
@@ -228,8 +233,8 @@
 	}
 }
 
-// tick handles what depends on time alone: expired leases and requests, upstreams
-// whose ejection has ended, loans and the report of refusals.
+// tick handles everything that becomes due without a message: expired leases and
+// requests, upstreams whose ejection has ended, loans and the report of refusals.
 func (d *Dispatcher[P, Q, L]) tick(now clock.Millis) {
 	d.expiredAnnouncements = d.announcements.Expire(now, d.expiredAnnouncements[:0])
 	for _, r := range d.expiredAnnouncements {
@@ -270,8 +275,8 @@
 	reason   string
 }
 
-// reportRefusals writes one event for each refusalKey, at most once a second, so
-// that many refusals don't displace other events from the bounded event log.
+// reportRefusals writes one event for each refusalKey, at most once a second.
+// Otherwise many refusals would displace other events from the bounded event log.
 func (d *Dispatcher[P, Q, L]) reportRefusals(now clock.Millis) {
 	if now-d.refusalsReportedAt < clock.Second {
 		return
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -19,8 +19,8 @@
 
 type testDispatcher = Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
 
-// start runs a dispatcher with a pool svc of two upstreams, each with the given
-// number of slots.
+// start runs a dispatcher with the two upstreams ia and ib in pool svc, each with the
+// given number of slots.
 func start(t testing.TB, slots int, contracts ...model.Contract) *testDispatcher {
 	t.Helper()
 	return startWithClock(t, clock.Real(), slots, contracts...)
@@ -64,8 +64,8 @@
 
 func mustAsk(t testing.TB, d *testDispatcher) Grant {
 	t.Helper()
-	g, f := ask(t.Context(), d)
-	assert.Assert(t, f == nil, "%+v", f)
+	g, refusal := ask(t.Context(), d)
+	assert.Assert(t, refusal == nil, "%+v", refusal)
 	return g
 }
 
@@ -93,19 +93,19 @@
 	assert.Equal(t, third.Upstream, first.Upstream)
 	// A second Done for a ticket changes nothing.
 	d.Done(first.Ticket, OutcomeOK, 1)
-	waitUntil(t, "stray", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
+	waitUntil(t, "the second Done is counted", func(s Status) bool { return s.Counts.UnknownTickets == 1 && s.Customers[0].Running == 2 }, d)
 }
 
-// TestCancelLosesNoSlot guards against slots that are never freed because the
-// caller cancelled the request at some moment.
+// TestCancelLosesNoSlot guards against slots that are never freed because the caller
+// cancelled the request while it was queued, granted or refused.
 func TestCancelLosesNoSlot(t *testing.T) {
 	d := start(t, 2, contract("acme", 3, 50))
 	var wg sync.WaitGroup
-	for w := range 16 {
+	for caller := range 16 {
 		wg.Go(func() {
-			for k := range 300 {
-				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((w*k)%200)*time.Microsecond)
-				if g, f := ask(ctx, d); f == nil {
+			for call := range 300 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((caller*call)%200)*time.Microsecond)
+				if g, refusal := ask(ctx, d); refusal == nil {
 					d.Done(g.Ticket, OutcomeOK, 0)
 				}
 				cancel()
@@ -122,8 +122,8 @@
 	assert.Equal(t, s.Counts.Requests, s.Counts.Grants+s.Counts.Refused)
 }
 
-// TestRefusals guards against requests that wait instead of being refused, and
-// against refusals with the wrong kind.
+// TestRefusals guards against requests that are queued although they must be
+// refused, and against refusals of the wrong kind.
 func TestRefusals(t *testing.T) {
 	d := start(t, 1, contract("acme", 1, 0), contract("idle", 0, 0))
 	g := mustAsk(t, d)
@@ -136,26 +136,26 @@
 		{Request{Customer: "acme", Pool: "other", Deadline: 1 << 60}, RefusalNoContract},
 		{Request{Customer: "nobody", Pool: "svc", Deadline: 1 << 60}, RefusalNoContract},
 	} {
-		_, f := d.Acquire(t.Context(), c.r)
-		assert.Equal(t, f.Kind, c.kind, f.Reason)
+		_, refusal := d.Acquire(t.Context(), c.r)
+		assert.Equal(t, refusal.Kind, c.kind, refusal.Reason)
 	}
 	d.Done(g.Ticket, OutcomeOK, 1)
 	retry := Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60, Retry: true, Avoid: g.Upstream.Instance}
-	g2, f := d.Acquire(t.Context(), retry)
-	assert.Assert(t, f == nil && g2.Upstream.Instance != g.Upstream.Instance)
-	_, f = d.Acquire(t.Context(), retry)
-	assert.Equal(t, f.Reason, "retry budget spent")
+	g2, refusal := d.Acquire(t.Context(), retry)
+	assert.Assert(t, refusal == nil && g2.Upstream.Instance != g.Upstream.Instance)
+	_, refusal = d.Acquire(t.Context(), retry)
+	assert.Equal(t, refusal.Reason, "retry budget spent")
 	a := announcement("ia", 1)
 	a.State = model.AnnounceLeaving
 	assert.NilError(t, d.Announce(a))
 	a.Instance, a.Address = "ib", "10.0.0.1:ib"
 	assert.NilError(t, d.Announce(a))
 	d.Done(g2.Ticket, OutcomeOK, 1)
-	_, f = ask(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalCapacity, f.Reason)
+	_, refusal = ask(t.Context(), d)
+	assert.Equal(t, refusal.Kind, RefusalCapacity, refusal.Reason)
 	d.Stop()
-	_, f = ask(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalNotReady)
+	_, refusal = ask(t.Context(), d)
+	assert.Equal(t, refusal.Kind, RefusalNotReady)
 }
 
 // TestWaitersOfAnEmptyPoolAreRefused guards against waiting requests that are never
@@ -166,8 +166,8 @@
 	mustAsk(t, d)
 	got := make(chan *Refusal)
 	go func() {
-		_, f := ask(context.Background(), d)
-		got <- f
+		_, refusal := ask(context.Background(), d)
+		got <- refusal
 	}()
 	waitUntil(t, "queued", func(s Status) bool { return s.Customers[0].Waiting == 1 }, d)
 	for _, id := range []model.InstanceID{"ia", "ib"} {
@@ -178,15 +178,15 @@
 	assert.Equal(t, (<-got).Kind, RefusalCapacity)
 }
 
-// TestFullRingRefuses guards against a full ring that blocks callers or is not
-// counted.
+// TestFullRingRefuses guards against a full ring that blocks callers, and against
+// refusals by a full ring that are not counted.
 func TestFullRingRefuses(t *testing.T) {
 	d := New(Settings{Self: "e1", Zone: "z1", RingSize: 2}, clock.Real(), admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
 	for range 2 {
 		assert.Assert(t, d.in.TryPut(message{kind: messageDone}))
 	}
-	_, f := ask(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalBusy)
+	_, refusal := ask(t.Context(), d)
+	assert.Equal(t, refusal.Kind, RefusalBusy)
 	assert.Equal(t, d.in.Refused(), int64(1))
 }
 
@@ -223,20 +223,20 @@
 	d := startWithClock(t, fake.Clock(), 4, contract("acme", 10, 10))
 	mustAsk(t, d)
 	fake.Advance(10 * clock.Minute)
-	_, f := ask(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalNotReady)
+	_, refusal := ask(t.Context(), d)
+	assert.Equal(t, refusal.Kind, RefusalNotReady)
 	waitUntil(t, "not ready", func(Status) bool { return !d.Ready() }, d)
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 5}))
 	assert.Assert(t, d.Ready())
 	mustAsk(t, d)
-	// Without announcements the upstreams expire one lease after the pause.
+	// Without new announcements the upstreams expire one lease after the pause.
 	for range 62 {
 		fake.Advance(clock.Second)
 		waitUntil(t, "tick", func(s Status) bool { return s.Pauses == 1 }, d)
 	}
-	waitUntil(t, "lapsed", func(Status) bool {
-		_, f := ask(t.Context(), d)
-		return f != nil && f.Kind == RefusalCapacity
+	waitUntil(t, "the upstreams have expired", func(Status) bool {
+		_, refusal := ask(t.Context(), d)
+		return refusal != nil && refusal.Kind == RefusalCapacity
 	}, d)
 }
 
--- a/core/coord/entry/load.go
+++ b/core/coord/entry/load.go
@@ -13,7 +13,8 @@
 type loadCounters struct {
 	customers map[model.Customer]*model.CustomerLoad
 	instances map[model.InstanceID]*model.InstanceTally
-	// refusedByPool counts the refusals by pool since the last report of demand.
+	// refusedByPool counts, by pool, the refusals since the last call of Demand that
+	// the fleet caused; see countRefusal.
 	refusedByPool map[model.Pool]int
 }
 
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -64,10 +64,10 @@
 	return messages
 }
 
-// withLoans runs f in the event loop and then applies changed loans to the router
-// and to waiting requests.
+// withLoans runs f in the event loop. Then it passes the changes of loans to the
+// router and grants waiting requests that can run.
 func (d *Dispatcher[P, Q, L]) withLoans(f func(now clock.Millis)) {
-	d.call(&command{op: opLoans, loans: func(now clock.Millis) {
+	d.call(&command{op: opLoans, loanFunc: func(now clock.Millis) {
 		f(now)
 		d.syncLoans(now)
 		d.startAllWaiting(now)
@@ -85,8 +85,8 @@
 	})
 }
 
-// peakWindow is the length of the windows in which the router measures the peak use
-// of own slots; it keeps the current and the previous window.
+// peakWindow is the length of a window in which the router measures the peak use of
+// own slots. The router keeps the current and the previous window.
 const peakWindow = clock.Second
 
 // tickLoans ends expired loans and sends the loan messages that are due.
@@ -131,8 +131,8 @@
 	}
 }
 
-// reportBorrowing writes an event when the first loan of a pool starts and when the
-// last one ends.
+// reportBorrowing writes an event when this process starts to hold borrowed slots of
+// a pool and when it holds none any more.
 func (d *Dispatcher[P, Q, L]) reportBorrowing(now clock.Millis) {
 	d.loans.EachPool(func(p model.Pool) {
 		slots := d.loans.BorrowedSlots(now, p)
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -34,17 +34,19 @@
 	return d, messages
 }
 
+// nextMessage returns the next message of the given kind and drops those of other
+// kinds.
 func nextMessage(messages *ring.Ring[lend.Message], kind lend.MessageKind) lend.Message {
 	for {
-		if next := <-messages.C(); next.Kind == kind {
-			return next
+		if m := <-messages.C(); m.Kind == kind {
+			return m
 		}
 	}
 }
 
 // TestLenderKeepsLentSlots guards against a lender that uses lent slots or confirms
-// a release while slots of the instance are lent, and against one that lends slots
-// or confirms releases before the loans of its earlier run have ended.
+// the release of an instance while slots of it are lent, and against one that lends
+// slots or confirms releases before the loans of its earlier runs have ended.
 func TestLenderKeepsLentSlots(t *testing.T) {
 	d, messages := startLending(t, "e1", "z1")
 	a := announcement("ia", 4)
@@ -80,10 +82,10 @@
 	d, messages := startLending(t, "e2", "z2")
 	got := make(chan Grant, 1)
 	go func() { got <- mustAsk(t, d) }()
-	o := nextMessage(messages, lend.MessageRequest)
-	assert.Equal(t, o.To, model.Process("e1"))
-	d.HandleResponse(o, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
-		{ID: lend.ID(o.Request.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
+	m := nextMessage(messages, lend.MessageRequest)
+	assert.Equal(t, m.To, model.Process("e1"))
+	d.HandleResponse(m, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
+		{ID: lend.ID(m.Request.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
@@ -91,8 +93,8 @@
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
-	_, f := ask(t.Context(), d)
-	assert.Equal(t, f.Kind, RefusalCapacity)
+	_, refusal := ask(t.Context(), d)
+	assert.Equal(t, refusal.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
 }
--- a/core/coord/entry/lookup.go
+++ b/core/coord/entry/lookup.go
@@ -6,8 +6,8 @@
 	"camphorridge/core/state/model"
 )
 
-// Instance returns the table's entry of an instance; ok is false when the
-// table does not have it.
+// Instance returns an instance as the table has it; ok is false when the table
+// doesn't have it.
 func (d *Dispatcher[P, Q, L]) Instance(id model.InstanceID) (i model.Instance, ok bool) {
 	c := d.call(&command{op: opInstance, instance: model.Instance{ID: id}})
 	return c.instance, c.found
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -70,8 +70,8 @@
 	// Retry is set when an earlier attempt was proven not to have run. A retry
 	// uses the customer's retry budget.
 	Retry bool
-	// Avoid is the instance of the earlier attempt. It is used only when no other
-	// instance has a free slot.
+	// Avoid is the instance of the earlier attempt. It is selected again only when
+	// no other instance has a free slot.
 	Avoid model.InstanceID
 }
 
@@ -90,7 +90,7 @@
 	// of this process's own share. Each loan has connections of its own.
 	LoanName string
 	// WriteDeadline is the time from which no byte of the request may be written; 0
-	// for a slot of this process's own share.
+	// means no limit and is set for a slot of this process's own share.
 	WriteDeadline clock.Millis
 }
 
@@ -111,8 +111,8 @@
 	RefusalLimit
 	// RefusalDeadline means that the request can't finish before its deadline.
 	RefusalDeadline
-	// RefusalCapacity means that no upstream of the pool is available to this
-	// process.
+	// RefusalCapacity means that no upstream of the pool is available, or that this
+	// process has no share of the pool's slots or of the contract's concurrency.
 	RefusalCapacity
 	// RefusalNotReady means that this process has no confirmed table, or is
 	// stopping.
