Correct comments of mover and entry; restore two test lines

In the tests of follow and lender one error text and one parameter are as they were: the changes gained nothing.

--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// BenchmarkAsk measures an Acquire followed by Done, with 6 goroutines per processor,
+// BenchmarkAsk measures Acquire followed by Done, with 6 goroutines per processor,
 // with lending disabled and with lending enabled but unused.
 func BenchmarkAsk(b *testing.B) {
 	for _, lease := range []clock.Millis{0, 2 * clock.Second} {
--- a/core/coord/follow/poller_test.go
+++ b/core/coord/follow/poller_test.go
@@ -21,7 +21,7 @@
 
 func (s silentControl) Watch(_ context.Context, _ model.Member, _ model.Version, wait clock.Millis) (model.Delta, error) {
 	s.clock.Advance(wait + watchMargin)
-	return model.Delta{}, errors.New("no answer")
+	return model.Delta{}, errors.New("silent")
 }
 
 func (s silentControl) Table(_ context.Context, _ model.Member, from model.Version) (model.Delta, bool, error) {
--- a/core/coord/lender/sender_test.go
+++ b/core/coord/lender/sender_test.go
@@ -68,9 +68,7 @@
 	return []lend.Message{{Kind: lend.MessageReturn, To: "a"}}
 }
 
-func (f *fake) HandleRecallAck(borrower model.Process) {
-	f.results <- string(borrower) + " acknowledged"
-}
+func (f *fake) HandleRecallAck(from model.Process) { f.results <- string(from) + " acknowledged" }
 
 // TestMessages guards against an unresponsive process that delays messages to the
 // others, against returning a loan before its connections are closed, against
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -127,7 +127,7 @@
 	return m
 }
 
-// reset clears the state that belongs to a term. Nothing is lost, because entry
+// reset clears the state that belongs to a term. It need not be kept, because entry
 // processes send complete reports to a new leader.
 func (m *Mover[G, P, C, J, A, S]) reset(term uint64) {
 	m.term = term
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -34,8 +34,8 @@
 	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
 	// NewlyAnnounced holds the instances that were announced since the last
-	// ClearEnrolled. They are to be enrolled or, if they were marked as lost, to be
-	// cleared of the mark. It keeps the cost of a pass proportional to the changes.
+	// ClearEnrolled. A pass enrols them or clears their lost mark. Holding them
+	// keeps the cost of a pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds, for each instance that is reported by no entry process or
 	// only by silent ones, the time since when.
