--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/model"
 )
 
-// Ask waits until a request is granted or refused. Exactly one of the results is
+// Acquire waits until a request is granted or refused. Exactly one of the results is
 // set. A refused request has not run; the holder of a grant must call Done once.
-func (d *Dispatcher[P, Q, L]) Ask(ctx context.Context, r Request) (Grant, *Refusal) {
+func (d *Dispatcher[P, Q, L]) Acquire(ctx context.Context, r Request) (Grant, *Refusal) {
 	p := d.requestPool.Get().(*pendingRequest)
 	p.request = r
 	if !d.in.TryPut(message{kind: messageRequest, request: p}) {
@@ -61,13 +61,13 @@
 }
 
 // Done releases a grant; o is the outcome of the request and elapsed its duration.
-// Done waits while the ring is full, so that no end of a request is lost while Run
-// is running.
+// Done waits while the ring is full, so that every grant is released while Run is
+// running.
 func (d *Dispatcher[P, Q, L]) Done(t Ticket, o Outcome, elapsed clock.Millis) {
 	d.in.PutWait(message{kind: messageDone, ticket: t, outcome: o, elapsed: elapsed}, d.done)
 }
 
-// ApplyDelta applies a change of the table. It fails with KindVersion when the delta
+// ApplyDelta applies a delta to the table. It fails with KindVersion when the delta
 // would lower the version or doesn't start at the version in force. An empty delta
 // from the version in force confirms the table after a pause.
 func (d *Dispatcher[P, Q, L]) ApplyDelta(delta model.Delta) error {
