Rename local names of peers, roles, cmds and admin

Now: slowUnservedPermille, notLeaderError, countingConn, callLeader, member, tried, isSelf, inconclusive, r and g.

--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -43,8 +43,8 @@
 	load := metrics.NewGaugeFloat64()
 	load.Update(0.25)
 	assert.NilError(t, r.Register("load", load))
-	var e2 *admin.Error
-	assert.Assert(t, errors.As(admin.RegisterGauge(r, "load", nil), &e2) && e2.Kind == admin.KindRegister)
+	var registerErr *admin.Error
+	assert.Assert(t, errors.As(admin.RegisterGauge(r, "load", nil), &registerErr) && registerErr.Kind == admin.KindRegister)
 	var b bytes.Buffer
 	assert.NilError(t, admin.Expose(&b, r, []admin.Label{{Name: "process", Value: `e"1\`}, {Name: "zone", Value: "a\nb"}}))
 	golden.Assert(t, b.String(), "entry.txt")
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -165,8 +165,8 @@
 	list := add(group, "list", "list all contracts", listContracts)
 	remove := add(group, "remove", "remove a contract", removeContract)
 	remove.AddPositionalValue(&o.name, "customer", 1, true, "customer of the contract")
-	operatorFlags(o, apply, show, list, remove)
-	changeFlags(o, apply, remove)
+	addOperatorFlags(o, apply, show, list, remove)
+	addChangeFlags(o, apply, remove)
 }
 
 func attachMaintenance(add addFunc, o *options) {
@@ -181,8 +181,8 @@
 	list := add(group, "list", "list the declarations", listMaintenance)
 	cancel := add(group, "cancel", "cancel a declaration", cancelMaintenance)
 	cancel.AddPositionalValue(&o.name, "name", 1, true, "name of the declaration")
-	operatorFlags(o, declare, list, cancel)
-	changeFlags(o, declare, cancel)
+	addOperatorFlags(o, declare, list, cancel)
+	addChangeFlags(o, declare, cancel)
 }
 
 func attachFleet(add addFunc, o *options) {
@@ -190,8 +190,8 @@
 	retire.AddPositionalValue(&o.name, "instance", 1, true, "name of the instance")
 	gone := add(nil, "gone", "declare that an entry process has ended for good, so that nothing waits for it", declareGone)
 	gone.AddPositionalValue(&o.name, "process", 1, true, "name of the entry process")
-	operatorFlags(o, retire, gone)
-	changeFlags(o, retire, gone)
+	addOperatorFlags(o, retire, gone)
+	addChangeFlags(o, retire, gone)
 }
 
 func attachJobs(add addFunc, o *options) {
@@ -205,7 +205,7 @@
 	}
 	list := add(group, "list", "list the jobs that have not ended, the oldest first", listJobs)
 	list.String(&o.queue, "", "queue", "only the jobs of this queue")
-	operatorFlags(o, submit, get, cancel, list)
+	addOperatorFlags(o, submit, get, cancel, list)
 }
 
 func attachReports(add addFunc, o *options) {
@@ -217,17 +217,17 @@
 	explain.AddPositionalValue(&o.name, "name", 2, true, "its name")
 	timeline := add(nil, "timeline", "show the events of all processes in causal order", showTimeline)
 	timeline.String(&o.html, "", "html", "write the timeline as an HTML page to this file")
-	operatorFlags(o, status, measures, instances, explain, timeline)
+	addOperatorFlags(o, status, measures, instances, explain, timeline)
 }
 
-func operatorFlags(o *options, all ...*flaggy.Subcommand) {
+func addOperatorFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
 		s.String(&o.control, "c", "control", "peers addresses of control processes, separated by commas; default is CAMPHORRIDGE_CONTROL")
 		s.Bool(&o.json, "j", "json", "print JSON")
 	}
 }
 
-func changeFlags(o *options, all ...*flaggy.Subcommand) {
+func addChangeFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
 		s.String(&o.request, "", "request", "ID of the change, to resend one whose answer was lost")
 		s.String(&o.author, "", "author", "who makes the change; default is USER")
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -149,8 +149,8 @@
 }
 
 // Lend requests loans of slots from an entry process.
-func (c *Client) Lend(ctx context.Context, m model.Member, a lend.LoanRequest) (lend.LoanResponse, error) {
-	req := codec.LoanRequestToWire(a)
+func (c *Client) Lend(ctx context.Context, m model.Member, r lend.LoanRequest) (lend.LoanResponse, error) {
+	req := codec.LoanRequestToWire(r)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Lend(ctx, req)
 	if err != nil {
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -57,8 +57,8 @@
 // have been accepted.
 func (l *LeaderClient) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	var r model.Result
-	err := l.call(ctx, "propose", func(ctx context.Context, to remote) error {
-		resp, err := to.control.Propose(ctx, &wirepb.ProposeRequest{Change: codec.ChangeToWire(c), Stamp: l.client.stamp()})
+	err := l.call(ctx, "propose", func(ctx context.Context, member remote) error {
+		resp, err := member.control.Propose(ctx, &wirepb.ProposeRequest{Change: codec.ChangeToWire(c), Stamp: l.client.stamp()})
 		if err != nil {
 			return err
 		}
@@ -72,10 +72,10 @@
 // Report sends a report to the leader and returns the leader's term.
 func (l *LeaderClient) Report(ctx context.Context, r follow.Report) (uint64, error) {
 	var term uint64
-	err := l.call(ctx, "report", func(ctx context.Context, to remote) error {
+	err := l.call(ctx, "report", func(ctx context.Context, member remote) error {
 		req := reportToWire(r)
 		req.Stamp = l.client.stamp()
-		resp, err := to.control.Report(ctx, req)
+		resp, err := member.control.Report(ctx, req)
 		if err != nil {
 			return err
 		}
@@ -114,9 +114,9 @@
 		if mapped.Kind == KindInvalid {
 			return mapped
 		}
-		asked := next
-		next = l.redirectAddress(leader, asked)
-		if next == "" && l.knownLeader() == asked {
+		tried := next
+		next = l.redirectAddress(leader, tried)
+		if next == "" && l.knownLeader() == tried {
 			l.setKnownLeader("")
 		}
 		// The delay also limits the rate of attempts at two members that name
@@ -194,14 +194,14 @@
 // redirectAddress returns the address of the leader that a member named, or ""
 // if it named none or named asked, the address that was just tried. For a member
 // that is in the list, the list's address is used.
-func (l *LeaderClient) redirectAddress(leader model.Member, asked string) string {
+func (l *LeaderClient) redirectAddress(leader model.Member, tried string) string {
 	address := leader.Address
 	for _, m := range l.currentMembers() {
 		if m.Name != "" && m.Name == leader.Name {
 			address = m.Address
 		}
 	}
-	if address == asked {
+	if address == tried {
 		return ""
 	}
 	return address
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// TestLeaderNamedByOwnAddress guards against a member that names the leader at
+// TestLeaderNamedByConfiguredAddress guards against a member that names the leader at
 // the address that the founder of the group uses, which callers in another
 // availability zone may not be able to reach. The address in the member's own
 // settings takes precedence.
-func TestLeaderNamedByOwnAddress(t *testing.T) {
+func TestLeaderNamedByConfiguredAddress(t *testing.T) {
 	s := &ControlServer[fakeGroup, Mover]{
 		Controls: []model.Member{{Name: "c3", Address: "127.0.0.3:7000"}},
 		Group:    fakeGroup{},
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -29,7 +29,7 @@
 // Lender is the part of an entry process that lends slots and keeps track of the
 // loans.
 type Lender interface {
-	Lend(a lend.LoanRequest) lend.LoanResponse
+	Lend(r lend.LoanRequest) lend.LoanResponse
 	HandleReturn(r lend.Return)
 	// HandleRecall ends the loans that earlier runs of the lender granted to this
 	// process. clear is true once all of them have ended.
@@ -66,11 +66,11 @@
 // Lend handles a request for loans.
 func (s *NeighbourServer) Lend(_ context.Context, r *wirepb.LendRequest) (*wirepb.LendResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	a, err := codec.LoanRequestFromWire(r)
+	req, err := codec.LoanRequestFromWire(r)
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("ask", err.Error())
 	}
-	w := codec.LoanResponseToWire(s.Lender.Lend(a))
+	w := codec.LoanResponseToWire(s.Lender.Lend(req))
 	w.Stamp = codec.StampToWire(s.Stamps.Next())
 	return w, nil
 }
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -31,8 +31,8 @@
 // Status requests the leader's view of the system.
 func (l *LeaderClient) Status(ctx context.Context) (Overview, error) {
 	var o Overview
-	err := l.call(ctx, "status", func(ctx context.Context, to remote) error {
-		resp, err := to.control.Status(ctx, &wirepb.StatusRequest{})
+	err := l.call(ctx, "status", func(ctx context.Context, member remote) error {
+		resp, err := member.control.Status(ctx, &wirepb.StatusRequest{})
 		if err != nil {
 			return err
 		}
--- a/io/trans/peers/traffic.go
+++ b/io/trans/peers/traffic.go
@@ -21,7 +21,7 @@
 
 // Listener returns a listener that counts the bytes of the connections that l
 // accepts.
-func (t *Traffic) Listener(l net.Listener) net.Listener { return &countedListener{Listener: l, t: t} }
+func (t *Traffic) Listener(l net.Listener) net.Listener { return &countingListener{Listener: l, t: t} }
 
 // dial returns a dial function that counts the bytes of its connections.
 func (t *Traffic) dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -30,35 +30,35 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: c, t: t}, nil
+		return &countingConn{Conn: c, t: t}, nil
 	}
 }
 
-type countedListener struct {
+type countingListener struct {
 	net.Listener
 	t *Traffic
 }
 
-func (l *countedListener) Accept() (net.Conn, error) {
+func (l *countingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: c, t: l.t}, nil
+	return &countingConn{Conn: c, t: l.t}, nil
 }
 
-type countedConn struct {
+type countingConn struct {
 	net.Conn
 	t *Traffic
 }
 
-func (c *countedConn) Read(p []byte) (int, error) {
+func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.t.received.Add(int64(n))
 	return n, err
 }
 
-func (c *countedConn) Write(p []byte) (int, error) {
+func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.t.sent.Add(int64(n))
 	return n, err
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -57,8 +57,8 @@
 	mayHaveRun := false
 	req := codec.CallToWire(c)
 	req.Stamp = l.client.stamp()
-	err := l.callWithTimeout(ctx, "work", workTimeout, func(ctx context.Context, to remote) error {
-		resp, err := to.work.Handle(ctx, req)
+	err := l.callWithTimeout(ctx, "work", workTimeout, func(ctx context.Context, member remote) error {
+		resp, err := member.work.Handle(ctx, req)
 		if err != nil {
 			mayHaveRun = mayHaveRun || attemptMayHaveRun(err)
 			return err
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -38,10 +38,10 @@
 
 // Limits of maintenance waves.
 const (
-	// slowPressurePermille and haltPressurePermille are the pressures at which a
+	// slowUnservedPermille and haltPressurePermille are the pressures at which a
 	// wave slows down and at which it starts no more maintenance.
-	slowPressurePermille = 60
-	haltPressurePermille = 200
+	slowUnservedPermille = 60
+	haltUnservedPermille = 200
 	// waveStopZ is the difference from the failure rate of the peers, in standard
 	// errors, above which a wave stops, and waveStopMinFailures the number of
 	// failures below which the rates are not compared.
@@ -135,7 +135,7 @@
 			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which did not answer", id)})
 		},
 	})
-	waves := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowPressurePermille, HaltPermille: haltPressurePermille},
+	waves := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowUnservedPermille, HaltPermille: haltUnservedPermille},
 		maint.ZTest{Z: waveStopZ, MinFailures: waveStopMinFailures}, waveSettings(cfg.Maintenance))
 	capacity := mover.NewCapacityPlanner(plan.Balance{}, plan.Settings{MaxExchangeMoves: cfg.MaxExchangeMoves}, cfg.RepairAfterMillis, newSurgePlanner(cfg))
 	c.mover = mover.New(fleetMoverConfig{
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -37,16 +37,16 @@
 func newGroupRunner(c *Control) *groupRunner { return &groupRunner{ctrl: c, done: make(chan struct{})} }
 
 // Run forms or joins the group and runs the member until Stop is called.
-func (f *groupRunner) Run() error {
-	c := f.ctrl
+func (r *groupRunner) Run() error {
+	c := r.ctrl
 	stored := c.disk.Stored()
 	if !initialised(stored) {
-		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, f.done)
+		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, r.done)
 		switch plan {
 		case boot.PlanRetry:
 			return nil
 		case boot.PlanForm:
-			if err := f.formGroup(&stored, members); err != nil {
+			if err := r.formGroup(&stored, members); err != nil {
 				return err
 			}
 		case boot.PlanJoin:
@@ -57,30 +57,30 @@
 		}
 	}
 	c.senders.SetMembers(stored.Snapshot.Members)
-	d, err := group.New(f.groupConfig(), stored, c.disk, codec.Codec{}, c.clock)
+	g, err := group.New(r.groupConfig(), stored, c.disk, codec.Codec{}, c.clock)
 	if err != nil {
 		return &Error{Op: "start consensus", Kind: KindStore, Err: err}
 	}
-	c.member.setConsensus(d)
-	return f.runConsensus(d)
+	c.member.setConsensus(g)
+	return r.runConsensus(g)
 }
 
 // runConsensus runs the group member until Stop is called.
-func (f *groupRunner) runConsensus(d *consensusGroup) error {
+func (r *groupRunner) runConsensus(g *consensusGroup) error {
 	ended := make(chan error, 1)
-	go func() { ended <- d.Run() }()
-	defer f.ctrl.senders.Stop()
+	go func() { ended <- g.Run() }()
+	defer r.ctrl.senders.Stop()
 	select {
 	case err := <-ended:
 		return err
-	case <-f.done:
-		d.Stop()
+	case <-r.done:
+		g.Stop()
 		return <-ended
 	}
 }
 
 // Stop ends Run. It must be called at most once.
-func (f *groupRunner) Stop() { close(f.done) }
+func (r *groupRunner) Stop() { close(r.done) }
 
 // initialIndex is the index and the term of the snapshot that every member of a new
 // group writes independently: the empty state and the initial member list.
@@ -88,19 +88,19 @@
 
 // formGroup writes the initial snapshot. The member's term is that of the snapshot,
 // so that the term of the first leader is higher.
-func (f *groupRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
+func (r *groupRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
 	stored.Snapshot = raft.SnapshotMeta{Index: initialIndex, Term: initialIndex, Members: members}
 	stored.Hard = raft.HardState{Term: initialIndex, Commit: initialIndex}
 	s := fleet.New()
 	s.Index = initialIndex
-	err := f.ctrl.disk.InstallSnapshot(stored.Snapshot, codec.Codec{}.EncodeState(s))
+	err := r.ctrl.disk.InstallSnapshot(stored.Snapshot, codec.Codec{}.EncodeState(s))
 	if err == nil {
-		err = f.ctrl.disk.Save(&stored.Hard, nil)
+		err = r.ctrl.disk.Save(&stored.Hard, nil)
 	}
 	if err != nil {
 		return &Error{Op: "form the group", Kind: KindStore, Err: err}
 	}
-	f.ctrl.record(model.Event{Kind: model.EventRole, Detail: "formed the group"})
+	r.ctrl.record(model.Event{Kind: model.EventRole, Detail: "formed the group"})
 	return nil
 }
 
@@ -114,34 +114,34 @@
 	diskRetryDelay clock.Millis = 500
 )
 
-func (f *groupRunner) groupConfig() group.Config {
-	c := f.ctrl.cfg.Consensus
+func (r *groupRunner) groupConfig() group.Config {
+	c := r.ctrl.cfg.Consensus
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(f.ctrl.cfg.Name))
+	_, _ = h.Write([]byte(r.ctrl.cfg.Name))
 	return group.Config{
 		Raft: raft.Config{
 			ElectionTimeout: c.ElectionMillis, HeartbeatInterval: c.HeartbeatMillis,
 			MaxAppendBytes: maxAppendBytes, ChunkBytes: snapshotChunkBytes, KeepEntries: keptEntries,
-			Seed: h.Sum64() + uint64(f.ctrl.clock.Now()),
+			Seed: h.Sum64() + uint64(r.ctrl.clock.Now()),
 		},
 		TickInterval: consensusTickInterval, RingCapacity: consensusRingCapacity, MaxPending: maxPendingProposals,
 		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetryDelay,
-		Send: f.ctrl.senders.Send, Observe: f.observe,
+		Send: r.ctrl.senders.Send, Observe: r.observe,
 	}
 }
 
 // observe updates the status, and records changes of the role and the term and the
 // start of a disk failure in the event log. The event loop of the group calls it.
-func (f *groupRunner) observe(s group.Status) {
-	before := f.ctrl.member.lastStatus.Load()
-	f.ctrl.member.updateStatus(s)
+func (r *groupRunner) observe(s group.Status) {
+	before := r.ctrl.member.lastStatus.Load()
+	r.ctrl.member.updateStatus(s)
 	if before == nil || before.Role != s.Role || before.Term != s.Term {
-		f.ctrl.record(model.Event{
+		r.ctrl.record(model.Event{
 			Kind: model.EventRole, Version: model.Version(s.Term),
 			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
 		})
 	}
 	if s.DiskError != "" && (before == nil || before.DiskError == "") {
-		f.ctrl.record(model.Event{Kind: model.EventRole, Detail: "writing to the disk fails: " + s.DiskError})
+		r.ctrl.record(model.Event{Kind: model.EventRole, Detail: "writing to the disk fails: " + s.DiskError})
 	}
 }
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -43,7 +43,7 @@
 	Runner *JobsRunner
 	// Leader returns the name of the leader, empty if none is known, and whether
 	// this process is the leader.
-	Leader func() (name model.Process, here bool)
+	Leader func() (name model.Process, isSelf bool)
 	Log    *log.Logger
 }
 
@@ -81,10 +81,10 @@
 	return nil
 }
 
-func (c *Control) knownLeader() (name model.Process, here bool) {
+func (c *Control) knownLeader() (name model.Process, isSelf bool) {
 	s := c.member.Status()
-	_, here = c.member.Leads()
-	return s.Leader.Name, here
+	_, isSelf = c.member.Leads()
+	return s.Leader.Name, isSelf
 }
 
 // addJobMetrics registers the metrics of the job runner.
--- a/io/trans/roles/latency.go
+++ b/io/trans/roles/latency.go
@@ -27,9 +27,9 @@
 // or refused.
 func (t *timedDispatcher) Ask(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
 	began := t.clock.Now()
-	g, f := t.dispatcher.Ask(ctx, r)
+	grant, refusal := t.dispatcher.Ask(ctx, r)
 	t.waitMillis.Update(int64(t.clock.Now() - began))
-	return g, f
+	return grant, refusal
 }
 
 // Done records the time that the upstream took, and calls the dispatcher's Done.
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -37,10 +37,10 @@
 func newMember(h boot.Hello, s *peers.Senders) *groupMember { return &groupMember{self: h, senders: s} }
 
 // setConsensus makes a started consensus group available to all calls.
-func (m *groupMember) setConsensus(d *consensusGroup) {
+func (m *groupMember) setConsensus(g *consensusGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.consensus = d
+	m.consensus = g
 }
 
 // getConsensus returns the consensus group, or an error if it isn't set yet.
@@ -67,13 +67,13 @@
 // queryStatus returns the current status. It returns the zero status if there is no
 // answer within statusTimeout.
 func (m *groupMember) queryStatus(ctx context.Context) group.Status {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return group.Status{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
 	defer cancel()
-	s, err := d.Status(ctx)
+	s, err := g.Status(ctx)
 	if err != nil {
 		return group.Status{}
 	}
@@ -96,21 +96,21 @@
 
 // Remove removes a member; only the leader can.
 func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return d.Remove(ctx, id)
+	return g.Remove(ctx, id)
 }
 
 // Join adds a member; only the leader can.
 func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
 	m.senders.SetMembers([]raft.Member{x})
-	members, err := d.Join(ctx, x)
+	members, err := g.Join(ctx, x)
 	m.senders.SetMembers(members)
 	return err
 }
@@ -133,60 +133,60 @@
 // Propose proposes a change and returns its result once it is applied. If this
 // process doesn't lead, the error is a notLeading.
 func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
-		return model.Result{}, notLeading{}
+		return model.Result{}, notLeaderError{}
 	}
-	r, err := d.Propose(ctx, c)
-	return r, asNotLeading(err)
+	r, err := g.Propose(ctx, c)
+	return r, asNotLeaderError(err)
 }
 
 // Read returns once a subsequent Query is certain to observe every change that was
 // acknowledged before the call. If this process doesn't lead, the error is a notLeading.
 func (m *groupMember) Read(ctx context.Context) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return asNotLeading(d.ReadBarrier(ctx))
+	return asNotLeaderError(g.ReadBarrier(ctx))
 }
 
 // Query calls f with the state as applied on this member. f must neither modify nor
 // keep the state.
 func (m *groupMember) Query(ctx context.Context, f func(*fleet.State)) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return d.Query(ctx, f)
+	return g.Query(ctx, f)
 }
 
 // Await returns once the table's version is above v, the group stops, or ctx is
 // done.
 func (m *groupMember) Await(ctx context.Context, v model.Version) {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		<-ctx.Done()
 		return
 	}
-	fired, err := d.Watch(ctx, v)
+	fired, err := g.Watch(ctx, v)
 	if err != nil {
 		return
 	}
 	select {
 	case <-fired:
-	case <-d.Done():
+	case <-g.Done():
 	case <-ctx.Done():
 	}
 }
 
 // Step passes messages of other members to the group.
 func (m *groupMember) Step(all []raft.Message) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	d.Step(all)
+	g.Step(all)
 	return nil
 }
 
@@ -209,29 +209,29 @@
 // NotApplied reports whether an error of Propose means that the change was not and
 // will not be applied.
 func (m *groupMember) NotApplied(err error) bool {
-	var n notLeading
+	var n notLeaderError
 	var e *group.Error
 	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
 }
 
-// notLeading is the error of a call that only the leader can answer. It names the
+// notLeaderError is the error of a call that only the leader can answer. It names the
 // leader.
-type notLeading struct{ leader raft.Member }
+type notLeaderError struct{ leader raft.Member }
 
-func (e notLeading) Error() string { return "this member is not the leader" }
+func (e notLeaderError) Error() string { return "this member is not the leader" }
 
 // KnownLeader returns the name and address of the leader, or empty strings if it
 // is unknown.
-func (e notLeading) KnownLeader() (name, address string) {
+func (e notLeaderError) KnownLeader() (name, address string) {
 	return string(e.leader.Name), e.leader.Address
 }
 
-// asNotLeading converts a group error of kind KindNotLeader to a notLeading and
+// asNotLeaderError converts a group error of kind KindNotLeader to a notLeading and
 // returns other errors unchanged.
-func asNotLeading(err error) error {
+func asNotLeaderError(err error) error {
 	var e *group.Error
 	if errors.As(err, &e) && e.Kind == group.KindNotLeader {
-		return notLeading{leader: e.Leader}
+		return notLeaderError{leader: e.Leader}
 	}
 	return err
 }
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -112,10 +112,10 @@
 func (s SubmitService) call(ctx context.Context, c runner.Call, refuseAt clock.Millis) runner.Answer {
 	uncertain := false
 	for {
-		a := s.try(ctx, c)
+		a := s.callLeader(ctx, c)
 		uncertain = uncertain || a.Kind == runner.AnswerOutcomeUnknown
-		open := a.Kind == runner.AnswerOutcomeUnknown || a.Kind == runner.AnswerUnavailable
-		if !open {
+		inconclusive := a.Kind == runner.AnswerOutcomeUnknown || a.Kind == runner.AnswerUnavailable
+		if !inconclusive {
 			return a
 		}
 		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= refuseAt) {
@@ -131,8 +131,8 @@
 	}
 }
 
-// try sends a call to the leader once.
-func (s SubmitService) try(ctx context.Context, c runner.Call) runner.Answer {
+// callLeader sends a call to the leader once.
+func (s SubmitService) callLeader(ctx context.Context, c runner.Call) runner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout.Duration())
 	defer cancel()
 	a, err := s.leader.CallRunner(ctx, c)
