Reword the comments of peers

Read badly or wrong: KindUnreachable claimed time-outs, which are of KindUnknown; LeaderClient.Propose named a kind that it never returns; the idle connections close after any error without a clear result, not only after a time-out; Waits covered more than steps of instances; redirectAddress and notLeader took two readings. Now the comments name the kinds that the code tests for. The test of an unresponsive member says why only the second call must succeed; a new comment says that ring starts the member's goroutine.

--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -16,8 +16,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// The limits for connections between processes. After a call times out, the idle
-// connections are closed, and later calls open new ones.
+// The limits for connections between processes. After an error of
+// KindUnreachable or KindUnknown the idle connections are closed, and later calls
+// open new ones.
 const (
 	dialTimeout         = 500 * time.Millisecond
 	idleTimeout         = 30 * time.Second
@@ -97,9 +98,9 @@
 
 func (c *Client) observe(s *wirepb.Stamp) { c.stamps.Observe(codec.StampFromWire(s)) }
 
-// callError maps the error of a call. After a call without a response it also
-// closes the idle connections: those that stopped working at the same time would
-// make the next calls fail too.
+// callError maps the error of a call. After an error of KindUnreachable or
+// KindUnknown it also closes the idle connections: some may have stopped working at
+// the same time and would make the next calls fail too.
 func (c *Client) callError(op string, err error) *Error {
 	mapped, _ := fromTwirp(op, err)
 	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
@@ -108,8 +109,8 @@
 	return mapped
 }
 
-// Watch requests the delta after version from, for which the control process m
-// waits up to the given time.
+// Watch requests the delta after version from. If there is none yet, the control
+// process m waits up to the given time for one.
 func (c *Client) Watch(ctx context.Context, m model.Member, from model.Version, wait clock.Millis) (model.Delta, error) {
 	resp, err := c.remote(m.Address).control.Watch(ctx, &wirepb.WatchRequest{
 		Process: string(c.Self), Version: uint64(from), WaitMs: int64(wait), Stamp: c.stamp(),
@@ -121,8 +122,8 @@
 	return codec.DeltaFromWire(resp.GetDelta())
 }
 
-// Table requests the delta after version from of an entry process's table. The
-// bool is false while that process has no confirmed table.
+// Table requests from an entry process the delta of its table after version from.
+// The second result is false while that process has no confirmed table.
 func (c *Client) Table(ctx context.Context, m model.Member, from model.Version) (model.Delta, bool, error) {
 	resp, err := c.remote(m.Address).neighbour.Table(ctx, &wirepb.TableRequest{Version: uint64(from), Stamp: c.stamp()})
 	if err != nil {
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -83,9 +83,9 @@
 	return &wirepb.JoinResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Join asks the leader of the members' group to add self. It tries the members
-// in turn; if one names another address as the leader's, it tries that too. If
-// all fail, it returns the last error.
+// Join asks the leader of the members' group to add self to the group. It tries
+// the members in turn; if one names the leader's address, it tries that address
+// next. If all attempts fail, it returns the last error.
 func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) error {
 	var lastErr error
 	for _, m := range members {
@@ -103,14 +103,14 @@
 	return lastErr
 }
 
-// TimelineServer serves the event log of one process.
+// TimelineServer serves the event log of this process.
 type TimelineServer struct {
-	// Events returns the events after a sequence number and the number of
-	// events that were dropped.
+	// Events returns the events with a sequence number above since, and the
+	// number of events that the log has dropped.
 	Events func(since uint64) (events []model.Event, dropped int64)
 }
 
-// eventsServer adapts TimelineServer to the Twirp service Timeline.
+// eventsServer implements the Timeline service for a TimelineServer.
 type eventsServer struct{ TimelineServer }
 
 func (s eventsServer) Events(_ context.Context, r *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
@@ -126,8 +126,8 @@
 // of a snapshot and a batch of log entries are far smaller.
 const maxPeerRequestBytes = 16 << 20
 
-// Mux returns a handler for the services of a process. Services that are nil are
-// left out; t is always served.
+// Mux returns a handler for the services of a process. It omits services that are
+// nil; t is always served.
 func Mux(control wirepb.Control, consensus wirepb.Consensus, neighbour wirepb.Neighbour, work wirepb.Work, t TimelineServer) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wirepb.TimelinePathPrefix, wirepb.NewTimelineServer(eventsServer{t}))
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -57,13 +57,13 @@
 	// Report passes on the report of an entry process. It does not block; it
 	// returns false if the mover's ring is full.
 	Report(r follow.Report) bool
-	// Status returns the latest reports and the steps that have to wait. It is
-	// empty if ctx ends first.
+	// Status returns the latest reports and what the mover waits for. The result
+	// is empty if ctx ends first.
 	Status(ctx context.Context) mover.Status
 }
 
-// Checker checks a change before it is proposed. It returns the reason for which
-// the change is refused, or else a note to store with the accepted change.
+// Checker checks a change before it is proposed. It returns the reason why the
+// change is refused, or else a note to store with the accepted change.
 type Checker func(s *fleet.State, c model.Change) (refusal, note string)
 
 // ControlServer implements the Control service in a control process.
@@ -94,10 +94,10 @@
 	return s.notLeader(string(st.Leader.Name), st.Leader.Address)
 }
 
-// notLeader returns the error that names another member as the leader. It
-// prefers the leader's address in this member's settings: the member list holds
-// the addresses that the founder of the group uses, which may not be reachable
-// from elsewhere.
+// notLeader returns the error that names another member as the leader. The address
+// comes from this member's settings if they list the leader: the member list holds
+// the addresses that the founder of the group uses, which may not be reachable from
+// elsewhere.
 func (s *ControlServer[G, M]) notLeader(name, address string) error {
 	for _, m := range s.Controls {
 		if m.Name != "" && string(m.Name) == name {
@@ -131,7 +131,8 @@
 
 // checkChange runs Check on a change. It accepts a change whose request ID
 // already has a result, because the group returns that result again. It also
-// accepts if the state cannot be read, because the proposal then fails anyway.
+// accepts any change while the state cannot be read, because the proposal then
+// fails anyway.
 func (s *ControlServer[G, M]) checkChange(ctx context.Context, c model.Change) (refusal, note string) {
 	if s.Check == nil || c.Kind == model.ChangeClaims || c.Kind == model.ChangeOutcomes {
 		return "", ""
@@ -190,8 +191,9 @@
 // delta.
 func (s *ControlServer[G, M]) Watch(ctx context.Context, r *wirepb.WatchRequest) (*wirepb.WatchResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	// A member that knows no leader may lag behind by any amount of time; the
-	// caller asks another member or its neighbours instead.
+	// A member that knows no leader may lag behind by any amount of time. After
+	// this error the caller asks another member, or the other entry processes of
+	// its availability zone.
 	if s.Group.Status().Leader.ID == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "no leader is known")
 	}
--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -14,9 +14,9 @@
 
 // The kinds of error.
 const (
-	// KindUnreachable: no process served the request in time, the called one
-	// was unavailable, or its response could not be decoded. A change may have
-	// been accepted.
+	// KindUnreachable: the called process was unavailable, or its response could
+	// not be decoded. The request may have been executed; CallRunner, however,
+	// uses this kind only for calls that were not.
 	KindUnreachable Kind = iota
 	// KindNotLeader: the called member is not the leader; nothing was done.
 	KindNotLeader
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -21,8 +21,8 @@
 	// rounds would be too frequent during an election, which takes about a
 	// second.
 	roundDelay clock.Millis = 100
-	// avoidDuration is the time for which a member that did not respond is
-	// tried only after all others.
+	// avoidDuration is the time for which a member is tried only after all
+	// others, because it did not respond.
 	avoidDuration = 2 * clock.Second
 )
 
@@ -53,8 +53,7 @@
 
 // Propose proposes a change and waits for its result. It proposes the change
 // again if the response is lost, so the change must carry a request ID or be
-// idempotent. After an *Error of KindUnknown or KindUnreachable the change may
-// have been accepted.
+// idempotent. After an *Error of KindUnknown the change may have been accepted.
 func (l *LeaderClient) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	var r model.Result
 	err := l.call(ctx, "propose", func(ctx context.Context, member remote) error {
@@ -131,8 +130,9 @@
 }
 
 // attempt runs f once with the clients for an address. If the error is of
-// KindNotLeader, the member returned is the leader that the other process named.
-// An address that did not respond or was unavailable is avoided for a while.
+// KindNotLeader, the member returned is the leader that the called process named.
+// After an error of KindUnreachable or KindUnknown the address is avoided for
+// avoidDuration.
 func (l *LeaderClient) attempt(ctx context.Context, op, address string, timeout clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
@@ -191,9 +191,10 @@
 	}
 }
 
-// redirectAddress returns the address of the leader that a member named, or ""
-// if it named none or named asked, the address that was just tried. For a member
-// that is in the list, the list's address is used.
+// redirectAddress returns the address at which to try the leader that a member
+// named: the address in the list of members if the leader is in it, otherwise the
+// one that the member gave. It returns "" if there is none or if it equals tried,
+// the address of the attempt that just failed.
 func (l *LeaderClient) redirectAddress(leader model.Member, tried string) string {
 	address := leader.Address
 	for _, m := range l.currentMembers() {
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -55,9 +55,9 @@
 func (zeroStamps) Observe(model.Stamp) {}
 
 // TestLeaderBehindWrongAddress guards against a client that never tries the
-// leader although it knows its address. One member knows no leader, and another
-// names the leader at an address that the client cannot reach; the attempts at
-// that address must not use up the leader's turn in the rotation.
+// leader, although the leader is one of its members. One member knows no leader,
+// and another names the leader at an address that the client cannot reach; the
+// attempts at that address must not use up the leader's turn in the rotation.
 func TestLeaderBehindWrongAddress(t *testing.T) {
 	wrong := closedAddress(t)
 	members := []model.Member{
@@ -85,16 +85,17 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		_, err = caller.Status(ctx)
 		cancel()
+		// The first call may use up its timeout on the unresponsive member.
 		if n == 1 {
 			assert.NilError(t, err)
 		}
 	}
 }
 
-// TestLeaderNamedByConfiguredAddress guards against a member that names the leader at
-// the address that the founder of the group uses, which callers in another
-// availability zone may not be able to reach. The address in the member's own
-// settings takes precedence.
+// TestLeaderNamedByConfiguredAddress guards against a member that names the
+// leader at the address that the founder of the group uses, which callers in
+// another availability zone may not be able to reach. The address in the member's
+// own settings takes precedence.
 func TestLeaderNamedByConfiguredAddress(t *testing.T) {
 	s := &ControlServer[fakeGroup, Mover]{
 		Controls: []model.Member{{Name: "c3", Address: "127.0.0.3:7000"}},
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -15,8 +15,8 @@
 // the process's table, receives announcements from the other entry processes of
 // the availability zone, and lends slots to entry processes.
 type NeighbourServer struct {
-	// TableAfter returns the delta after a version; ready is false while the
-	// process has no confirmed table.
+	// TableAfter returns the delta of the process's table after version from;
+	// ready is false while the process has no confirmed table.
 	TableAfter func(from model.Version) (d model.Delta, ready bool)
 	// HandleAnnouncement handles one forwarded announcement. A refusal is not
 	// returned, because the upstream gets it from the process to which it
@@ -31,12 +31,12 @@
 type Lender interface {
 	Lend(r lend.LoanRequest) lend.LoanResponse
 	HandleReturn(r lend.Return)
-	// HandleRecall ends the loans that earlier runs of the lender granted to this
-	// process. clear is true once all of them have ended.
+	// HandleRecall ends the loans that earlier runs of the process that recalls
+	// them granted to this process. clear is true once all of them have ended.
 	HandleRecall(r lend.Recall) (clear bool)
 }
 
-// Table returns the delta after a version of the process's table.
+// Table returns the delta of the process's table after a version.
 func (s *NeighbourServer) Table(_ context.Context, r *wirepb.TableRequest) (*wirepb.WatchResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	d, ready := s.TableAfter(model.Version(r.GetVersion()))
@@ -82,7 +82,8 @@
 	return &wirepb.ReturnResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Recall ends the loans that earlier runs of a lender granted to this process.
+// Recall ends the loans that earlier runs of the calling process granted to this
+// process.
 func (s *NeighbourServer) Recall(_ context.Context, r *wirepb.RecallRequest) (*wirepb.RecallResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	clear := s.Lender.HandleRecall(codec.RecallFromWire(r))
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -16,11 +16,12 @@
 	// Controls and Entries list the configured processes.
 	Controls []model.Member
 	Entries  []model.Member
-	// Waits lists the steps of instances that wait for confirmations.
+	// Waits lists what the mover waits for.
 	Waits []WaitOverview
 }
 
-// WaitOverview describes a step of an instance that has to wait; see mover.Wait.
+// WaitOverview is a reason why the mover cannot take a step or reach a goal yet; its
+// fields are those of mover.Wait.
 type WaitOverview struct {
 	Instance    model.InstanceID
 	Unconfirmed []string
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -75,6 +75,8 @@
 	}
 }
 
+// ring returns the ring of a member, or nil if the member's address is unknown. The
+// first call for a member creates the ring and starts the member's goroutine.
 func (s *Senders) ring(id raft.MemberID) *ring.Ring[raft.Message] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -45,13 +45,13 @@
 }
 
 // workTimeout bounds one attempt of CallRunner. It is shorter than
-// attemptTimeout, so that an unresponsive leader is given up early: a call
-// usually takes one commit, and it is idempotent.
+// attemptTimeout, so that CallRunner gives up on an unresponsive leader early. A
+// call usually takes one commit, and it can be sent again because it is idempotent.
 const workTimeout clock.Millis = 600
 
 // CallRunner sends a call to the leader's runner. After an *Error of KindUnknown
-// the call may have been executed; after one of another kind, such as
-// KindUnreachable if no attempt reached a leader, it was not.
+// the call may have been executed. After an *Error of another kind it was not; it is
+// of KindUnreachable if ctx ended before any attempt could have executed the call.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
 	mayHaveRun := false
