Reword the comments and one log message of roles

Read badly or wrong: pressure for the share of unserved requests; processes that run jobs, which they schedule; one attempt for a CallRunner, which makes several; servers for other processes, which also serve upstreams, workers and operators; the quarantine score. Now in the terms of maint, place and boot. The log message 'requests were aborted at the stop' is 'open requests were aborted during shutdown'; no test or script in the repository matches it.

--- a/io/trans/roles/check.go
+++ b/io/trans/roles/check.go
@@ -23,9 +23,9 @@
 	}}
 }
 
-// check returns the reason why a change must be refused, or a note that lists
-// the shortfalls of a contract which can be accepted. Both are empty if the
-// contract can be met, and for changes other than applying a contract.
+// check returns the reason why a change must be refused, or else a note that lists
+// the shortfalls of a contract that can be accepted. Both are empty if the contract
+// has no shortfall, and for changes that apply no contract.
 func (k *contractChecker) check(s *fleet.State, c model.Change) (refusal, note string) {
 	if c.Kind != model.ChangeContractApply {
 		return "", ""
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -38,13 +38,14 @@
 
 // Limits of maintenance waves.
 const (
-	// slowUnservedPermille and haltPressurePermille are the pressures at which a
-	// wave slows down and at which it starts no more maintenance.
+	// slowUnservedPermille and haltUnservedPermille are the shares of unserved
+	// requests from which a wave allows only as much maintenance as its deadline
+	// needs, and from which it starts no more.
 	slowUnservedPermille = 60
 	haltUnservedPermille = 200
 	// waveStopZ is the difference from the failure rate of the peers, in standard
-	// errors, above which a wave stops, and waveStopMinFailures the number of
-	// failures below which the rates are not compared.
+	// errors, above which a wave stops, and waveStopMinFailures the number of failed
+	// requests below which the failure rates of requests are not compared.
 	waveStopZ           = 4
 	waveStopMinFailures = 3
 )
@@ -61,9 +62,9 @@
 	member     *groupMember
 	mover      *fleetMover
 	membership *membershipManager
-	// jobs is nil in a process that runs no jobs.
+	// jobs is nil in a process that schedules no jobs.
 	jobs *JobsRunner
-	// commitMillis holds the duration of each commit of the job runner, in ms.
+	// commitMillis records the duration of each commit of the job runner, in ms.
 	commitMillis metrics.Histogram
 	// droppedLogLines returns the number of dropped log lines.
 	droppedLogLines func() int64
@@ -75,7 +76,8 @@
 	return RunJobsControl(cfg, JobsOptions{}, out)
 }
 
-// RunJobsControl is like RunControl but also schedules jobs if o.Address is set.
+// RunJobsControl is like RunControl, but the process also schedules jobs if
+// o.Address is set.
 func RunJobsControl(cfg conf.Control, o JobsOptions, out io.Writer) error {
 	async := logs.NewAsync(out, clock.Real())
 	defer async.Close()
@@ -145,7 +147,8 @@
 	return c, nil
 }
 
-// initialised reports whether the data folder has ever belonged to a group.
+// initialised reports whether the data folder shows that this process has been in a
+// group.
 func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
 // newSurgePlanner returns a surge planner with the weights of the operator's
@@ -168,8 +171,8 @@
 	return s
 }
 
-// record adds an event to the event log, and writes it to the process log if it
-// is a state change.
+// record adds an event to the event log. It also writes state changes to the process
+// log.
 func (c *Control) record(e model.Event) {
 	c.recorder.Record(e)
 	logs.Event(c.log, e)
@@ -215,7 +218,7 @@
 	}
 }
 
-// notReady returns why the process is not ready. It is empty if it is ready.
+// notReady returns why the process is not ready, or "" if it is ready.
 func (c *Control) notReady() string {
 	if c.member.Status().Leader.ID == 0 {
 		return "no leader is known"
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -31,12 +31,12 @@
 	"camphorridge/io/trans/uplink"
 )
 
-// eventRingCapacity is the number of the dispatcher's events that can wait for the
-// recorder.
+// eventRingCapacity is the maximum number of events of the dispatcher that wait for
+// the recorder.
 const eventRingCapacity = 1024
 
-// loanMessageRingCapacity is the number of messages about loans that can wait to be
-// sent. There are at most two for each entry process.
+// loanMessageRingCapacity is the maximum number of messages about loans that wait to
+// be sent. There are at most two for each entry process.
 const loanMessageRingCapacity = 1024
 
 // lameDuckTime is how long a stopping process still accepts connections while its
@@ -173,9 +173,9 @@
 	return got, nil
 }
 
-// tableAfter returns what a neighbour at version from needs for the current table:
-// an empty delta if it is up to date, otherwise the whole table. The second
-// result is false if this process has no table yet.
+// tableAfter returns the delta that brings another entry process at version from up
+// to date: an empty one if it is up to date already, otherwise the whole table. The
+// second result is false if this process has no table yet.
 func (e *Entry) tableAfter(from model.Version) (model.Delta, bool) {
 	v := e.poller.Version()
 	if v == 0 || from >= v {
@@ -220,8 +220,8 @@
 	return nil
 }
 
-// peerStopTimeout is the maximum time that a server for other processes waits for
-// open requests when it stops.
+// peerStopTimeout is the maximum time that a server waits for open requests when it
+// stops. The servers for callers, submitters and readiness checks have other timeouts.
 const peerStopTimeout = 2 * clock.Second
 
 func (e *Entry) addCallers(g *run.Group, l net.Listener) {
@@ -231,7 +231,7 @@
 		e.leaving.Store(true)
 		<-e.clock.After(lameDuckTime)
 		if err := s.Shutdown(e.cfg.Limits.DrainMillis); err != nil {
-			e.log.Error("requests were aborted at the stop", "err", err)
+			e.log.Error("open requests were aborted during shutdown", "err", err)
 		}
 	})
 }
@@ -266,8 +266,8 @@
 	}}
 }
 
-// notReady returns why the load balancer should send no requests to the process.
-// It is empty if the process is ready.
+// notReady returns why the load balancer should send no requests to the process, or
+// "" if the process is ready.
 func (e *Entry) notReady() string {
 	switch {
 	case e.leaving.Load():
@@ -286,8 +286,8 @@
 	}
 }
 
-// record adds an event to the event log, and writes it to the process log if it
-// is a state change.
+// record adds an event to the event log. It also writes state changes to the process
+// log.
 func (e *Entry) record(ev model.Event) {
 	e.recorder.Record(ev)
 	logs.Event(e.log, ev)
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -13,8 +13,8 @@
 	"camphorridge/io/proto/codec"
 )
 
-// consensusGroup is a member of the control group with the storage and codec that
-// are used in production.
+// consensusGroup is this process's member of the control group, with the storage and
+// the codec that are used in production.
 type consensusGroup = group.Group[*diskStore, codec.Codec]
 
 const (
@@ -44,13 +44,14 @@
 		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, r.done)
 		switch plan {
 		case boot.PlanRetry:
+			// AwaitPlan ended because Stop was called.
 			return nil
 		case boot.PlanForm:
 			if err := r.formGroup(&stored, members); err != nil {
 				return err
 			}
 		case boot.PlanJoin:
-			// This process must be able to reply to the leader before it has the
+			// This process must be able to reply to the leader before it receives the
 			// member list.
 			c.senders.SetMembers(members)
 			c.record(model.Event{Kind: model.EventRole, Detail: "waiting to be added to the group"})
@@ -82,8 +83,9 @@
 // Stop ends Run. It must be called at most once.
 func (r *groupRunner) Stop() { close(r.done) }
 
-// initialIndex is the index and the term of the snapshot that every member of a new
-// group writes independently: the empty state and the initial member list.
+// initialIndex is the index and the term of the initial snapshot, which holds the
+// empty state and the initial member list. Every founder of a group writes the same
+// snapshot on its own.
 const initialIndex = 1
 
 // formGroup writes the initial snapshot. The member's term is that of the snapshot,
@@ -107,7 +109,8 @@
 const (
 	// consensusTickInterval is the interval of the Raft clock.
 	consensusTickInterval clock.Millis = 50
-	// consensusRingCapacity is the number of inputs that can wait for the event loop.
+	// consensusRingCapacity is the maximum number of inputs that wait for the event
+	// loop of the group.
 	consensusRingCapacity = 4096
 	maxPendingProposals   = 4096
 	// diskRetryDelay is the time after which a failed write is tried again.
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -17,24 +17,27 @@
 	"camphorridge/io/trans/peers"
 )
 
-// minQuarantineScore is the score at which a worker is quarantined: the logarithm
-// of how much more likely a broken worker explains its failures.
+// minQuarantineScore is the score at which a worker is quarantined. The score is the
+// logarithm of a likelihood ratio: how probable the worker's results are if it is
+// broken, divided by how probable they are if it is good.
 const minQuarantineScore = 3
 
 // JobsRunner is the job runner with the policies that are used in production.
 type JobsRunner = runner.Runner[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
-// JobsOptions configures how a control process runs jobs.
+// JobsOptions configures how a control process schedules jobs.
 type JobsOptions struct {
 	// Address is the address to listen on for workers and operators. If it is empty,
-	// the process runs no jobs.
+	// the process schedules no jobs.
 	Address string
 	// Handler returns the HTTP handler for Address.
 	Handler  func(JobsService) http.Handler
 	Settings sched.Settings
-	// Machines changes the machines of the platform; it may be nil.
+	// Machines acts on the machines of the platform. If it is nil, every action is
+	// refused.
 	Machines runner.Machines
-	// Reload reads the control processes from the settings again.
+	// Reload reads the control processes from the settings again. If it is nil,
+	// changes of the settings are ignored.
 	Reload func() ([]model.Member, error)
 }
 
@@ -55,8 +58,8 @@
 	return sched.Outcome{Answer: sched.AnswerRefusedForNow}
 }
 
-// serveJobs adds the job runner and the server for workers and operators. It does
-// nothing if the process runs no jobs.
+// serveJobs adds the job runner, the server for workers and operators, and the
+// reloader. It does nothing if the process schedules no jobs.
 func (c *Control) serveJobs(g *run.Group, o JobsOptions) error {
 	if o.Address == "" {
 		return nil
@@ -108,8 +111,8 @@
 	})
 }
 
-// workServer returns the server for submitters' calls, or nil if the process runs
-// no jobs.
+// workServer returns the server for submitters' calls, or nil if the process
+// schedules no jobs.
 func (c *Control) workServer(s *peers.ControlServer[*groupMember, *fleetMover]) wirepb.Work {
 	if c.jobs == nil {
 		return nil
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -15,8 +15,8 @@
 	"camphorridge/io/trans/logs"
 )
 
-// TestNoteLines guards against log lines of decisions without the job, the worker
-// or the right level. Operators who investigate a complaint search for these.
+// TestNoteLines guards against log lines of decisions that lack the job or the worker
+// or have the wrong level. Operators who investigate a complaint search for these.
 func TestNoteLines(t *testing.T) {
 	var out bytes.Buffer
 	l, err := logs.New(&out, logs.Settings{Level: "info", Process: "c1", Zone: "zone-a"}, clock.NewFake(1_796_382_000_123).Clock())
--- a/io/trans/roles/latency.go
+++ b/io/trans/roles/latency.go
@@ -10,8 +10,8 @@
 	"camphorridge/io/trans/admin"
 )
 
-// timedDispatcher is a dispatcher that measures how long requests wait for it and
-// how long upstreams take.
+// timedDispatcher is a dispatcher that records how long requests wait for its
+// decision and how long upstreams take.
 type timedDispatcher struct {
 	*dispatcher
 	clock         clock.Clock
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -19,9 +19,10 @@
 // statusTimeout is the maximum time to wait for the status of the consensus group.
 const statusTimeout = clock.Second
 
-// groupMember is this process's member of the control group as the servers and the
-// mover use it. Until the group has been formed or joined, Hello describes this process,
-// the status is empty, and calls that need the group fail.
+// groupMember gives the servers, the mover and the job runner access to this
+// process's member of the control group. Until the group has been formed or joined,
+// Hello already describes this process, the status is empty, and calls that need the
+// group fail.
 type groupMember struct {
 	self    boot.Hello
 	senders *peers.Senders
@@ -64,8 +65,8 @@
 	}
 }
 
-// queryStatus returns the current status. It returns the zero status if there is no
-// answer within statusTimeout.
+// queryStatus requests the current status from the event loop of the group. It
+// returns the zero status if there is no group yet or no answer within statusTimeout.
 func (m *groupMember) queryStatus(ctx context.Context) group.Status {
 	g, err := m.getConsensus()
 	if err != nil {
@@ -81,8 +82,8 @@
 	return s
 }
 
-// Refresh passes the addresses of the members to the senders and returns this
-// process's view of the group.
+// Refresh requests the current status, passes the addresses of the members to the
+// senders, and returns this process's view of the group.
 func (m *groupMember) Refresh(ctx context.Context) boot.View {
 	s := m.queryStatus(ctx)
 	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
@@ -94,7 +95,7 @@
 	return v
 }
 
-// Remove removes a member; only the leader can.
+// Remove removes a member. It fails unless this process is the leader.
 func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
 	g, err := m.getConsensus()
 	if err != nil {
@@ -103,7 +104,7 @@
 	return g.Remove(ctx, id)
 }
 
-// Join adds a member; only the leader can.
+// Join adds a member. It fails unless this process is the leader.
 func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
 	g, err := m.getConsensus()
 	if err != nil {
@@ -115,8 +116,8 @@
 	return err
 }
 
-// Hello describes this process to the other control processes. It counts as
-// initialised once it has a member list.
+// Hello describes this process to the other control processes. The process counts as
+// initialised once it has a member list; see boot.Hello for the founders.
 func (m *groupMember) Hello() boot.Hello {
 	h := m.self
 	members := m.queryStatus(context.Background()).Members
@@ -131,7 +132,7 @@
 }
 
 // Propose proposes a change and returns its result once it is applied. If this
-// process doesn't lead, the error is a notLeading.
+// process isn't the leader, the error is a notLeaderError.
 func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	g, err := m.getConsensus()
 	if err != nil {
@@ -142,7 +143,8 @@
 }
 
 // Read returns once a subsequent Query is certain to observe every change that was
-// acknowledged before the call. If this process doesn't lead, the error is a notLeading.
+// acknowledged before the call. If this process isn't the leader, the error is a
+// notLeaderError.
 func (m *groupMember) Read(ctx context.Context) error {
 	g, err := m.getConsensus()
 	if err != nil {
@@ -199,8 +201,8 @@
 	return peers.GroupStatus{Role: s.Role, Term: s.Term, Leader: s.Leader}
 }
 
-// Leads returns the term and whether this process leads, as of the latest status
-// update.
+// Leads returns the term and whether this process is the leader, as of the latest
+// status update.
 func (m *groupMember) Leads() (uint64, bool) {
 	s := m.Status()
 	return s.Term, s.Role == raft.RoleLeader
@@ -215,7 +217,7 @@
 }
 
 // notLeaderError is the error of a call that only the leader can answer. It names the
-// leader.
+// leader if one is known.
 type notLeaderError struct{ leader raft.Member }
 
 func (e notLeaderError) Error() string { return "this member is not the leader" }
@@ -226,7 +228,7 @@
 	return string(e.leader.Name), e.leader.Address
 }
 
-// asNotLeaderError converts a group error of kind KindNotLeader to a notLeading and
+// asNotLeaderError converts a group error of KindNotLeader to a notLeaderError and
 // returns other errors unchanged.
 func asNotLeaderError(err error) error {
 	var e *group.Error
--- a/io/trans/roles/reload.go
+++ b/io/trans/roles/reload.go
@@ -12,8 +12,8 @@
 	"camphorridge/core/state/model"
 )
 
-// reloadInterval is the interval at which the settings are read, because they can
-// change without a signal.
+// reloadInterval is the interval at which the settings are read even without a
+// signal, because not every change is followed by one.
 const reloadInterval = 5 * clock.Second
 
 // reloader is the component that applies changes of the list of control processes
@@ -22,7 +22,8 @@
 	// load reads the control processes from the settings. If it is nil, nothing is
 	// ever reloaded.
 	load func() ([]model.Member, error)
-	// apply makes the process use changed control processes; it must not block.
+	// apply makes the process use a changed list of control processes; it must not
+	// block.
 	apply func([]model.Member)
 	// applied holds the control processes that are in use.
 	applied []model.Member
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -89,14 +89,14 @@
 	return l, nil
 }
 
-// Timeouts of the servers for other processes.
+// Timeouts of the servers that addServer adds.
 const (
 	readHeaderTimeout = 5 * time.Second
 	peerIdleTimeout   = 60 * time.Second
 )
 
-// addServer adds an HTTP server. When it is stopped, it waits for open requests, at
-// most for stopTimeout.
+// addServer adds an HTTP server to the group. When it is stopped, it waits for open
+// requests, for stopTimeout at most, and then closes their connections.
 func addServer(g *run.Group, l net.Listener, h http.Handler, stopTimeout clock.Millis) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	g.Add(func() error {
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -23,15 +23,15 @@
 
 // Limits of an entry process for submitters.
 const (
-	// pingInterval is the interval at which the process checks whether it can reach
-	// the leader, and maxPingAge how long a successful check keeps it ready.
+	// pingInterval is the time between two checks whether the process can reach the
+	// leader, and maxPingAge is how long a successful check keeps it ready.
 	pingInterval = 500 * clock.Millis(1)
 	maxPingAge   = 1800 * clock.Millis(1)
-	// leaderTimeout is the timeout of one attempt of a call, and the time after which a
-	// call that was certainly not executed is refused. An election takes one to two
+	// leaderTimeout is the timeout of CallRunner, and the time after which a call
+	// that was certainly not executed is refused. An election takes one to two
 	// seconds, and a caller that is refused early can still retry in time.
 	leaderTimeout = 900 * clock.Millis(1)
-	// retryDelay is the time between two attempts of one call.
+	// retryDelay is the delay before a call is passed to CallRunner again.
 	retryDelay = 100 * clock.Millis(1)
 	// submitLameDuckTime is how long a stopping process still accepts connections
 	// while its readiness check fails. The load balancer checks once a second and
@@ -73,11 +73,11 @@
 	stats    *submitStats
 }
 
-// submitStats holds the statistics of the calls of submitters.
+// submitStats holds statistics about the calls of submitters.
 type submitStats struct {
-	// answers holds the number of answers by kind.
+	// answers holds the number of answers of each kind.
 	answers [runner.AnswerOutcomeUnknown + 1]atomic.Int64
-	// callMillis holds the duration of each call, in ms.
+	// callMillis records the duration of each call, in ms.
 	callMillis metrics.Histogram
 }
 
@@ -107,8 +107,8 @@
 	return a
 }
 
-// call sends a call until there is a definite answer or ctx is done. If no attempt
-// can have been executed, it gives up at refuseAt.
+// call sends a call to the leader until there is a definite answer or ctx is done. It
+// gives up at refuseAt if the call has certainly not been executed by then.
 func (s SubmitService) call(ctx context.Context, c runner.Call, refuseAt clock.Millis) runner.Answer {
 	uncertain := false
 	for {
@@ -131,7 +131,8 @@
 	}
 }
 
-// callLeader sends a call to the leader once.
+// callLeader sends a call to the leader, for leaderTimeout at most. It converts an
+// error to an answer that says whether the call may have been executed.
 func (s SubmitService) callLeader(ctx context.Context, c runner.Call) runner.Answer {
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout.Duration())
 	defer cancel()
@@ -145,13 +146,13 @@
 	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingInterval, Reason: err.Error()}
 }
 
-// Ready reports whether the process accepts new callers: it reached the leader
-// within the last maxPingAge and is not stopping.
+// Ready reports whether the process accepts new callers, that is, whether it has
+// reached the leader within maxPingAge and is not stopping.
 func (s SubmitService) Ready() bool {
 	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.lastPing.Load()) < maxPingAge
 }
 
-// notReady returns why the process accepts no new callers. It is empty if it does.
+// notReady returns why the process accepts no new callers, or "" if it does.
 func (s SubmitService) notReady() string {
 	if s.Ready() {
 		return ""
@@ -223,13 +224,13 @@
 		s.leaving.Store(true)
 		<-s.clock.After(submitLameDuckTime)
 		if err := server.Shutdown(submitDrainTimeout); err != nil {
-			s.Log.Warn("requests were aborted at the stop", "err", err)
+			s.Log.Warn("open requests were aborted during shutdown", "err", err)
 		}
 	})
 }
 
-// pinger is the component that checks whether the leader can be reached, every
-// pingInterval.
+// pinger is the component that checks whether the process can reach the leader. It
+// waits for pingInterval between two checks.
 type pinger struct {
 	submitter SubmitService
 	done      chan struct{}
