Reword help texts, two messages and comments of cmds

Read badly: 'for good', 'its name', 'what waits', 'the one in force', 'peers addresses', 'a date and time by RFC 3339'; two comments took two readings. Now the help says what the value is and in which format. No flag, subcommand, key or exit status changes.

--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -15,8 +15,8 @@
 	"camphorridge/io/trans/peers"
 )
 
-// propose proposes a change and prints the result. It sets the author and the
-// request ID, which is random unless the operator has given one.
+// propose sets the author and the request ID of a change, proposes it and prints the
+// result. The request ID is random unless the operator has given one.
 func propose(o *options, p *controlClient, out io.Writer, c model.Change) error {
 	c.Author = o.author
 	if c.Author == "" {
@@ -161,9 +161,9 @@
 	})
 }
 
-// retireInstance removes an instance from the fleet permanently. A spare instance
-// replaces it in its pool; the release ends when every entry process of the zone has
-// confirmed it.
+// retireInstance releases an instance from its pool and removes it from the fleet
+// permanently. A spare instance replaces it in the pool. The release ends when every
+// entry process of the zone has confirmed it.
 func retireInstance(o *options, out io.Writer) error {
 	return withOverview(o, func(p *controlClient, v peers.Overview) error {
 		for _, i := range v.Status.Instances {
@@ -179,8 +179,8 @@
 	})
 }
 
-// declareGone tells the control group that an entry process no longer runs in any
-// incarnation so far. Only the operator can know this: a process that doesn't report
+// declareGone tells the control group that every incarnation so far of an entry
+// process has ended. Only the operator can know this: a process that doesn't report
 // may still serve a zone that is cut off from the control group.
 func declareGone(o *options, out io.Writer) error {
 	return withOverview(o, func(p *controlClient, v peers.Overview) error {
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -12,7 +12,7 @@
 // Version is the version of the program. Releases set it with a linker flag.
 var Version = "development"
 
-// The exit statuses for errors of KindFailed and of KindUsage.
+// The exit statuses for errors of KindFailed and KindUsage.
 const (
 	ExitFailed = 1
 	ExitUsage  = 2
@@ -23,7 +23,7 @@
 
 // The kinds of error.
 const (
-	// KindUsage means that the command line, a setting or a file is wrong;
+	// KindUsage means that the command line, a setting or a file is invalid;
 	// nothing was done.
 	KindUsage Kind = iota
 	// KindFailed means that the operation failed.
@@ -46,8 +46,8 @@
 
 func failedError(op string, err error) error { return &Error{Op: op, Kind: KindFailed, Err: err} }
 
-// options holds the values of all flags and positional arguments. Which of them are
-// set depends on the subcommand.
+// options holds the values of all flags and positional arguments. The subcommand
+// determines which of them are set.
 type options struct {
 	settings string
 	control  string
@@ -74,7 +74,7 @@
 	run func(o *options, out io.Writer) error
 }
 
-// Main runs the subcommand that args name and returns the exit status of the
+// Main runs the subcommand named in args and returns the exit status of the
 // program. It writes errors to errOut.
 func Main(args []string, out, errOut io.Writer) int {
 	o := &options{control: os.Getenv("CAMPHORRIDGE_CONTROL"), author: os.Getenv("USER"), base: -1}
@@ -177,7 +177,7 @@
 	declare.String(&o.zone, "", "zone", "instances of this availability zone")
 	declare.String(&o.rack, "", "rack", "instances of this rack")
 	declare.String(&o.instance, "", "instance", "this instance")
-	declare.String(&o.deadline, "", "deadline", "time from now, such as 36h, or a date and time by RFC 3339")
+	declare.String(&o.deadline, "", "deadline", "duration from now, such as 36h, or time in RFC 3339 format")
 	list := add(group, "list", "list the declarations", listMaintenance)
 	cancel := add(group, "cancel", "cancel a declaration", cancelMaintenance)
 	cancel.AddPositionalValue(&o.name, "name", 1, true, "name of the declaration")
@@ -186,9 +186,9 @@
 }
 
 func attachFleet(add addFunc, o *options) {
-	retire := add(nil, "retire", "take an instance out of the fleet for good", retireInstance)
+	retire := add(nil, "retire", "remove an instance from the fleet permanently", retireInstance)
 	retire.AddPositionalValue(&o.name, "instance", 1, true, "name of the instance")
-	gone := add(nil, "gone", "declare that an entry process has ended for good, so that nothing waits for it", declareGone)
+	gone := add(nil, "gone", "declare that an entry process has ended permanently, so that nothing waits for it", declareGone)
 	gone.AddPositionalValue(&o.name, "process", 1, true, "name of the entry process")
 	addOperatorFlags(o, retire, gone)
 	addChangeFlags(o, retire, gone)
@@ -209,12 +209,12 @@
 }
 
 func attachReports(add addFunc, o *options) {
-	status := add(nil, "status", "show which process runs which version, and what waits", showStatus)
+	status := add(nil, "status", "show which process runs which version, and what the control group waits for", showStatus)
 	measures := add(nil, "measures", "show roll-out times, moves and the idle buffer", showMeasures)
 	instances := add(nil, "instances", "list the instances", listInstances)
 	explain := add(nil, "explain", "say what happened to a customer, an instance, a request or a job, and why", explain)
 	explain.AddPositionalValue(&o.kind, "kind", 1, true, "customer, instance, request or job")
-	explain.AddPositionalValue(&o.name, "name", 2, true, "its name")
+	explain.AddPositionalValue(&o.name, "name", 2, true, "name of the customer or instance, or ID of the request or job")
 	timeline := add(nil, "timeline", "show the events of all processes in causal order", showTimeline)
 	timeline.String(&o.html, "", "html", "write the timeline as an HTML page to this file")
 	addOperatorFlags(o, status, measures, instances, explain, timeline)
@@ -222,15 +222,15 @@
 
 func addOperatorFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
-		s.String(&o.control, "c", "control", "peers addresses of control processes, separated by commas; default is CAMPHORRIDGE_CONTROL")
+		s.String(&o.control, "c", "control", "addresses of the peers listeners of control processes, separated by commas; default is CAMPHORRIDGE_CONTROL")
 		s.Bool(&o.json, "j", "json", "print JSON")
 	}
 }
 
 func addChangeFlags(o *options, all ...*flaggy.Subcommand) {
 	for _, s := range all {
-		s.String(&o.request, "", "request", "ID of the change, to resend one whose answer was lost")
+		s.String(&o.request, "", "request", "request ID of the change; give it to resend a change whose response was lost")
 		s.String(&o.author, "", "author", "who makes the change; default is USER")
-		s.Int(&o.base, "", "base", "version that the change is made against; default is the one in force")
+		s.Int(&o.base, "", "base", "version that the change is based on; default is the current version")
 	}
 }
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -12,8 +12,8 @@
 	"camphorridge/io/proto/report"
 )
 
-// callLeader sends a call about jobs to the leader and calls f with the answer if
-// the call was done. Otherwise it returns an error.
+// callLeader sends a call about jobs to the leader. If the leader executed it,
+// callLeader returns the result of f for the answer, otherwise an error.
 func callLeader(o *options, op string, c runner.Call, f func(runner.Answer) error) error {
 	p, err := newControlClient(o)
 	if err != nil {
@@ -25,7 +25,7 @@
 	case err != nil:
 		return failedError(op, err)
 	case a.Kind == runner.AnswerOutcomeUnknown:
-		return failedError(op, fmt.Errorf("the outcome is unknown, run the command again: %s", a.Reason))
+		return failedError(op, fmt.Errorf("the outcome is unknown; run the command again: %s", a.Reason))
 	case a.Kind != runner.AnswerDone:
 		return failedError(op, fmt.Errorf("%s: %s", a.Kind, a.Reason))
 	}
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -21,8 +21,8 @@
 // takes a few seconds at most.
 const commandTimeout = 15 * time.Second
 
-// commandStamps holds the hybrid logical clock of a command, so that its changes are
-// ordered after what it has read.
+// commandStamps is the hybrid logical clock of a command. It orders the command's
+// changes after the state that the command has read.
 type commandStamps struct {
 	clock  clock.Clock
 	hybrid trail.HybridClock
@@ -42,7 +42,8 @@
 }
 
 // newControlClient returns a client of the control processes that the operator has
-// given. The context of the client ends after commandTimeout; close must be called.
+// given. The context of the client ends after commandTimeout. The caller must call
+// close.
 func newControlClient(o *options) (*controlClient, error) {
 	if o.control == "" {
 		return nil, usageError("--control", errors.New("no address of a control process is given; want ip:port of the peers listeners, separated by commas, here or in CAMPHORRIDGE_CONTROL"))
@@ -114,8 +115,7 @@
 }
 
 // collectEvents returns the events of all processes in causal order. It reports
-// processes that don't answer, and those that have dropped events, on the standard
-// error.
+// processes that don't answer, and those that have dropped events, on standard error.
 func (p *controlClient) collectEvents(v peers.Overview) []model.Event {
 	var lists [][]model.Event
 	for _, m := range append(append([]model.Member(nil), v.Controls...), v.Entries...) {
@@ -183,14 +183,14 @@
 			return failedError("explain", err)
 		}
 		if !x.Found {
-			return failedError("explain", errors.New("no object or event is known of "+o.kind+" "+o.name))
+			return failedError("explain", errors.New("found no object or event of "+o.kind+" "+o.name))
 		}
 		return nil
 	})
 }
 
-// currentState converts an overview to the state that package trail explains events
-// with.
+// currentState converts an overview to the current state that package trail needs to
+// explain events.
 func currentState(v peers.Overview) trail.CurrentState {
 	x := trail.CurrentState{
 		Now:         v.Status.Now,
--- a/io/trans/cmds/roles.go
+++ b/io/trans/cmds/roles.go
@@ -33,7 +33,7 @@
 	return failedError(name, err)
 }
 
-// loadFile loads a file with f. Its errors are usage errors.
+// loadFile loads a file with f. Its errors are of KindUsage.
 func loadFile[T any](file string, f func(string) (T, error)) (T, error) {
 	var none T
 	if file == "" {
