Reword the comments and one message of admin

Read badly: the rule of the sums in Expose had no reason, uniqueName said neither where the number goes nor which names it reserves, and FetchEvents took two readings. Now each says what the code does and why.

--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -27,7 +27,7 @@
 	idleTimeout       = time.Minute
 	maxHeaderBytes    = 16 << 10
 	// PageSize is the maximum number of events in one response. An event takes about
-	// 200 bytes, so a response is about 2 MB.
+	// 200 bytes, so a full response is about 2 MB.
 	PageSize = 10_000
 )
 
@@ -38,18 +38,19 @@
 	// Labels are added to every metric.
 	Labels   []Label
 	Registry metrics.Registry
-	// Ready returns why the process is not ready. It is empty if it is ready.
+	// Ready returns why the process is not ready, or "" if it is ready.
 	Ready func() string
-	// Events returns at most limit events with a sequence number above since,
-	// oldest first.
+	// Events returns the events with a sequence number above since, oldest first,
+	// and at most limit of them.
 	Events func(since uint64, limit int) []model.Event
-	// StopMillis is the maximum time that a stop waits for requests in progress.
+	// StopMillis is the maximum time that Run waits, after Stop, for requests in
+	// progress.
 	StopMillis clock.Millis
 	// ErrorLog logs the errors of connections. If it is nil, they are discarded.
 	ErrorLog *log.Logger
 }
 
-// Server is the server of the endpoint.
+// Server serves the endpoint of one process.
 type Server struct {
 	cfg      Config
 	listener net.Listener
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -29,8 +29,9 @@
 	metric any
 }
 
-// Expose writes the metrics in the Prometheus text format 0.0.4, sorted by name.
-// Only the sum of a histogram of NewHistogram is known; others have none.
+// Expose writes the metrics in the Prometheus text format 0.0.4, sorted by name. It
+// writes a sum only for histograms of NewHistogram, because the sum of the library's
+// histograms and timers covers only the sampled values.
 func Expose(w io.Writer, r metrics.Registry, labels []Label) error {
 	x := exposer{labels: formatLabels(labels), usedNames: map[string]bool{}}
 	var all []namedMetric
@@ -47,7 +48,7 @@
 type exposer struct {
 	out    strings.Builder
 	labels string
-	// usedNames holds the names written so far, because two names of the registry can
+	// usedNames holds the names that are in use, because two names of the registry can
 	// be equal once sanitised.
 	usedNames map[string]bool
 }
@@ -111,9 +112,10 @@
 	fmt.Fprintf(&x.out, "%s%s %s\n", name, labels, formatNumber(v))
 }
 
-// uniqueName returns the name of a metric with prefix and suffix, and reserves the
-// name with each suffix in reserve. It inserts a number if the name is in use,
-// because scrapers reject a page with two metrics of the same name.
+// uniqueName returns prefix, the sanitised name and suffix, joined. It inserts a number
+// before suffix if the name followed by any suffix in reserve is in use, because
+// scrapers reject a page with two metrics of the same name. It then reserves the name
+// followed by each suffix in reserve.
 func (x *exposer) uniqueName(name, suffix string, reserve ...string) string {
 	base := prefix + strings.TrimSuffix(sanitiseName(name), suffix)
 	n := base
@@ -126,7 +128,7 @@
 	return n + suffix
 }
 
-// sanitiseName replaces each character other than an ASCII letter or digit by an
+// sanitiseName replaces each character other than an ASCII letter or digit with an
 // underscore.
 func sanitiseName(name string) string {
 	return strings.Map(func(r rune) rune {
--- a/io/trans/admin/fetch.go
+++ b/io/trans/admin/fetch.go
@@ -13,14 +13,14 @@
 const (
 	// maxPageBytes is the maximum size of one response that FetchEvents accepts.
 	maxPageBytes = 64 << 20
-	// maxPages is the maximum number of requests of one FetchEvents, so that it ends
-	// even if a process records events faster than it sends them.
+	// maxPages is the maximum number of requests that FetchEvents makes, so that it
+	// ends even if the process records events faster than it sends them.
 	maxPages = 128
 )
 
-// FetchEvents returns the events with a sequence number above since of the process
-// whose admin endpoint has the given host:port. It returns at most
-// maxPages*PageSize events. Its errors are of KindFetch.
+// FetchEvents fetches from the admin endpoint at address, a host:port, the events with
+// a sequence number above since, oldest first. It returns at most maxPages*PageSize
+// events. Its errors are of KindFetch.
 func FetchEvents(ctx context.Context, c *http.Client, address string, since uint64) ([]model.Event, error) {
 	var all []model.Event
 	for range maxPages {
@@ -55,7 +55,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	case len(data) > maxPageBytes:
-		return nil, fmt.Errorf("response of more than %d bytes", maxPageBytes)
+		return nil, fmt.Errorf("the response has more than %d bytes", maxPageBytes)
 	}
 	return report.EventsFromJSON(data)
 }
--- a/io/trans/admin/stats.go
+++ b/io/trans/admin/stats.go
@@ -7,9 +7,9 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// The exponentially decaying reservoir of a histogram. 1028 values give the
-// quantiles with an error of 5 % at a confidence of 99.9 %, and the decay factor
-// gives most weight to the last 5 minutes.
+// The parameters of the exponentially decaying reservoir of a histogram. 1028 values
+// give the quantiles with an error of 5 % at a confidence of 99.9 %, and the decay
+// factor gives most weight to the last 5 minutes.
 const (
 	reservoirSize  = 1028
 	reservoirAlpha = 0.015
