--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -167,15 +167,15 @@
 		return explainJob(o, out)
 	}
 	return withOverview(o, func(p *controlClient, v peers.Overview) error {
-		objects, events := currentState(v), p.collectEvents(v)
+		current, events := currentState(v), p.collectEvents(v)
 		var x trail.Explanation
 		switch o.kind {
 		case "customer":
-			x = trail.ExplainCustomer(objects, events, model.Customer(o.name))
+			x = trail.ExplainCustomer(current, events, model.Customer(o.name))
 		case "instance":
-			x = trail.ExplainInstance(objects, events, model.InstanceID(o.name))
+			x = trail.ExplainInstance(current, events, model.InstanceID(o.name))
 		case "request":
-			x = trail.ExplainRequest(objects, events, o.name)
+			x = trail.ExplainRequest(current, events, o.name)
 		default:
 			return usageError("explain", fmt.Errorf("kind %q is unknown; want customer, instance, request or job", o.kind))
 		}
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -279,11 +279,11 @@
 			Incarnation: p.Incarnation,
 		})
 	}
-	for _, x := range st.Waits {
-		ww := &wirepb.Wait{Instance: string(x.Instance), SinceMs: int64(x.Since), Reason: x.Reason}
-		for _, p := range x.Unconfirmed {
-			ww.For = append(ww.For, string(p))
+	for _, wait := range st.Waits {
+		wireWait := &wirepb.Wait{Instance: string(wait.Instance), SinceMs: int64(wait.Since), Reason: wait.Reason}
+		for _, p := range wait.Unconfirmed {
+			wireWait.For = append(wireWait.For, string(p))
 		}
-		w.Waits = append(w.Waits, ww)
+		w.Waits = append(w.Waits, wireWait)
 	}
 }
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -74,10 +74,10 @@
 	for _, m := range w.GetEntries() {
 		o.Entries = append(o.Entries, codec.ProcessFromWire(m))
 	}
-	for _, x := range w.GetWaits() {
+	for _, wait := range w.GetWaits() {
 		o.Waits = append(o.Waits, WaitOverview{
-			Instance: model.InstanceID(x.GetInstance()), Unconfirmed: x.GetFor(),
-			Since: clock.Millis(x.GetSinceMs()), Reason: x.GetReason(),
+			Instance: model.InstanceID(wait.GetInstance()), Unconfirmed: wait.GetFor(),
+			Since: clock.Millis(wait.GetSinceMs()), Reason: wait.GetReason(),
 		})
 	}
 	return o, nil
