--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -16,11 +16,12 @@
 	// Controls and Entries list the configured processes.
 	Controls []model.Member
 	Entries  []model.Member
-	// Waits lists the steps of instances that wait for confirmations.
+	// Waits lists what the mover waits for.
 	Waits []WaitOverview
 }
 
-// WaitOverview describes a step of an instance that has to wait; see mover.Wait.
+// WaitOverview is a reason why the mover cannot take a step or reach a goal yet; its
+// fields are those of mover.Wait.
 type WaitOverview struct {
 	Instance    model.InstanceID
 	Unconfirmed []string
@@ -31,8 +32,8 @@
 // Status requests the leader's view of the system.
 func (l *LeaderClient) Status(ctx context.Context) (Overview, error) {
 	var o Overview
-	err := l.call(ctx, "status", func(ctx context.Context, to remote) error {
-		resp, err := to.control.Status(ctx, &wirepb.StatusRequest{})
+	err := l.call(ctx, "status", func(ctx context.Context, member remote) error {
+		resp, err := member.control.Status(ctx, &wirepb.StatusRequest{})
 		if err != nil {
 			return err
 		}
@@ -73,10 +74,10 @@
 	for _, m := range w.GetEntries() {
 		o.Entries = append(o.Entries, codec.MemberFromWire(m))
 	}
-	for _, x := range w.GetWaits() {
+	for _, wait := range w.GetWaits() {
 		o.Waits = append(o.Waits, WaitOverview{
-			Instance: model.InstanceID(x.GetInstance()), Unconfirmed: x.GetFor(),
-			Since: clock.Millis(x.GetSinceMs()), Reason: x.GetReason(),
+			Instance: model.InstanceID(wait.GetInstance()), Unconfirmed: wait.GetFor(),
+			Since: clock.Millis(wait.GetSinceMs()), Reason: wait.GetReason(),
 		})
 	}
 	return o, nil
--- a/io/trans/roles/latency.go
+++ b/io/trans/roles/latency.go
@@ -10,8 +10,8 @@
 	"camphorridge/io/trans/admin"
 )
 
-// timedDispatcher is a dispatcher that measures how long requests wait for it and
-// how long upstreams take.
+// timedDispatcher is a dispatcher that records how long requests wait for its
+// decision and how long upstreams take.
 type timedDispatcher struct {
 	*dispatcher
 	clock         clock.Clock
@@ -27,9 +27,9 @@
 // or refused.
 func (t *timedDispatcher) Acquire(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
 	began := t.clock.Now()
-	g, f := t.dispatcher.Acquire(ctx, r)
+	grant, refusal := t.dispatcher.Acquire(ctx, r)
 	t.waitMillis.Update(int64(t.clock.Now() - began))
-	return g, f
+	return grant, refusal
 }
 
 // Done records the time that the upstream took, and calls the dispatcher's Done.
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -19,9 +19,10 @@
 // statusTimeout is the maximum time to wait for the status of the consensus group.
 const statusTimeout = clock.Second
 
-// groupMember is this process's member of the control group as the servers and the
-// mover use it. Until the group has been formed or joined, Hello describes this process,
-// the status is empty, and calls that need the group fail.
+// groupMember gives the servers, the mover and the job runner access to this
+// process's member of the control group. Until the group has been formed or joined,
+// Hello already describes this process, the status is empty, and calls that need the
+// group fail.
 type groupMember struct {
 	self    boot.Hello
 	senders *peers.Senders
@@ -37,10 +38,10 @@
 func newMember(h boot.Hello, s *peers.Senders) *groupMember { return &groupMember{self: h, senders: s} }
 
 // setConsensus makes a started consensus group available to all calls.
-func (m *groupMember) setConsensus(d *consensusGroup) {
+func (m *groupMember) setConsensus(g *consensusGroup) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.consensus = d
+	m.consensus = g
 }
 
 // getConsensus returns the consensus group, or an error if it isn't set yet.
@@ -64,16 +65,16 @@
 	}
 }
 
-// queryStatus returns the current status. It returns the zero status if there is no
-// answer within statusTimeout.
+// queryStatus requests the current status from the event loop of the group. It
+// returns the zero status if there is no group yet or no answer within statusTimeout.
 func (m *groupMember) queryStatus(ctx context.Context) group.Status {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return group.Status{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
 	defer cancel()
-	s, err := d.Status(ctx)
+	s, err := g.Status(ctx)
 	if err != nil {
 		return group.Status{}
 	}
@@ -81,8 +82,8 @@
 	return s
 }
 
-// Refresh passes the addresses of the members to the senders and returns this
-// process's view of the group.
+// Refresh requests the current status, passes the addresses of the members to the
+// senders, and returns this process's view of the group.
 func (m *groupMember) Refresh(ctx context.Context) boot.View {
 	s := m.queryStatus(ctx)
 	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
@@ -94,29 +95,29 @@
 	return v
 }
 
-// Remove removes a member; only the leader can.
+// Remove removes a member. It fails unless this process is the leader.
 func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return d.Remove(ctx, id)
+	return g.Remove(ctx, id)
 }
 
-// Join adds a member; only the leader can.
+// Join adds a member. It fails unless this process is the leader.
 func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
 	m.senders.SetMembers([]raft.Member{x})
-	members, err := d.Join(ctx, x)
+	members, err := g.Join(ctx, x)
 	m.senders.SetMembers(members)
 	return err
 }
 
-// Hello describes this process to the other control processes. It counts as
-// initialised once it has a member list.
+// Hello describes this process to the other control processes. The process counts as
+// initialised once it has a member list; see boot.Hello for the founders.
 func (m *groupMember) Hello() boot.Hello {
 	h := m.self
 	members := m.queryStatus(context.Background()).Members
@@ -131,62 +132,63 @@
 }
 
 // Propose proposes a change and returns its result once it is applied. If this
-// process doesn't lead, the error is a notLeading.
+// process isn't the leader, the error is a notLeaderError.
 func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
-		return model.Result{}, notLeading{}
+		return model.Result{}, notLeaderError{}
 	}
-	r, err := d.Propose(ctx, c)
-	return r, asNotLeading(err)
+	r, err := g.Propose(ctx, c)
+	return r, asNotLeaderError(err)
 }
 
 // Read returns once a subsequent Query is certain to observe every change that was
-// acknowledged before the call. If this process doesn't lead, the error is a notLeading.
+// acknowledged before the call. If this process isn't the leader, the error is a
+// notLeaderError.
 func (m *groupMember) Read(ctx context.Context) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return asNotLeading(d.ReadBarrier(ctx))
+	return asNotLeaderError(g.ReadBarrier(ctx))
 }
 
 // Query calls f with the state as applied on this member. f must neither modify nor
 // keep the state.
 func (m *groupMember) Query(ctx context.Context, f func(*fleet.State)) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	return d.Query(ctx, f)
+	return g.Query(ctx, f)
 }
 
 // Await returns once the table's version is above v, the group stops, or ctx is
 // done.
 func (m *groupMember) Await(ctx context.Context, v model.Version) {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		<-ctx.Done()
 		return
 	}
-	fired, err := d.Watch(ctx, v)
+	fired, err := g.Watch(ctx, v)
 	if err != nil {
 		return
 	}
 	select {
 	case <-fired:
-	case <-d.Done():
+	case <-g.Done():
 	case <-ctx.Done():
 	}
 }
 
 // Step passes messages of other members to the group.
 func (m *groupMember) Step(all []raft.Message) error {
-	d, err := m.getConsensus()
+	g, err := m.getConsensus()
 	if err != nil {
 		return err
 	}
-	d.Step(all)
+	g.Step(all)
 	return nil
 }
 
@@ -199,8 +201,8 @@
 	return peers.GroupStatus{Role: s.Role, Term: s.Term, Leader: s.Leader}
 }
 
-// Leads returns the term and whether this process leads, as of the latest status
-// update.
+// Leads returns the term and whether this process is the leader, as of the latest
+// status update.
 func (m *groupMember) Leads() (uint64, bool) {
 	s := m.Status()
 	return s.Term, s.Role == raft.RoleLeader
@@ -209,29 +211,29 @@
 // NotApplied reports whether an error of Propose means that the change was not and
 // will not be applied.
 func (m *groupMember) NotApplied(err error) bool {
-	var n notLeading
+	var n notLeaderError
 	var e *group.Error
 	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
 }
 
-// notLeading is the error of a call that only the leader can answer. It names the
-// leader.
-type notLeading struct{ leader raft.Member }
+// notLeaderError is the error of a call that only the leader can answer. It names the
+// leader if one is known.
+type notLeaderError struct{ leader raft.Member }
 
-func (e notLeading) Error() string { return "this member is not the leader" }
+func (e notLeaderError) Error() string { return "this member is not the leader" }
 
 // KnownLeader returns the name and address of the leader, or empty strings if it
 // is unknown.
-func (e notLeading) KnownLeader() (name, address string) {
+func (e notLeaderError) KnownLeader() (name, address string) {
 	return string(e.leader.Name), e.leader.Address
 }
 
-// asNotLeading converts a group error of kind KindNotLeader to a notLeading and
+// asNotLeaderError converts a group error of KindNotLeader to a notLeaderError and
 // returns other errors unchanged.
-func asNotLeading(err error) error {
+func asNotLeaderError(err error) error {
 	var e *group.Error
 	if errors.As(err, &e) && e.Kind == group.KindNotLeader {
-		return notLeading{leader: e.Leader}
+		return notLeaderError{leader: e.Leader}
 	}
 	return err
 }
