Rename logs.Async to AsyncWriter

An adjective as a type name read badly: logs.Async and logs.NewAsync are now logs.AsyncWriter and logs.NewAsyncWriter (gopls). Renames only.

Checks: go build ./..., go vet ./io/trans/... ./core/coord/lender.

--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -27,9 +27,9 @@
 
 var infoLevelField = []byte("level=info")
 
-// Async is an io.Writer that never blocks: one goroutine writes the lines to
+// AsyncWriter is an io.Writer that never blocks: one goroutine writes the lines to
 // the underlying writer, and lines beyond the limits are dropped and counted.
-type Async struct {
+type AsyncWriter struct {
 	out       io.Writer
 	clock     clock.Clock
 	lines     *ring.Ring[[]byte]
@@ -50,9 +50,9 @@
 	reportedAt clock.Millis
 }
 
-// NewAsync returns a writer to out and starts its goroutine, which Close stops.
-func NewAsync(out io.Writer, c clock.Clock) *Async {
-	a := &Async{
+// NewAsyncWriter returns a writer to out and starts its goroutine, which Close stops.
+func NewAsyncWriter(out io.Writer, c clock.Clock) *AsyncWriter {
+	a := &AsyncWriter{
 		out: out, clock: c, lines: ring.New[[]byte](ringLines), budgetBytes: infoBurstBytes, refilledAt: c.Now(),
 		done: make(chan struct{}), finished: make(chan struct{}),
 	}
@@ -61,7 +61,7 @@
 }
 
 // Write queues one line. It never fails; a line beyond the limits is dropped.
-func (a *Async) Write(line []byte) (int, error) {
+func (a *AsyncWriter) Write(line []byte) (int, error) {
 	if !a.admit(line) || !a.lines.TryPut(bytes.Clone(line)) {
 		a.dropped.Add(1)
 	}
@@ -70,7 +70,7 @@
 
 // admit reports whether a line is within the budget for level info. Lines of
 // other levels always are.
-func (a *Async) admit(line []byte) bool {
+func (a *AsyncWriter) admit(line []byte) bool {
 	if !bytes.Contains(line, infoLevelField) {
 		return true
 	}
@@ -88,7 +88,7 @@
 
 // report writes the number of dropped lines if it has changed, at most once per
 // reportInterval.
-func (a *Async) report() {
+func (a *AsyncWriter) report() {
 	n, now := a.dropped.Load(), a.clock.Now()
 	if n == a.reported || now-a.reportedAt < reportInterval && a.reportedAt != 0 {
 		return
@@ -98,11 +98,11 @@
 }
 
 // Dropped returns the number of dropped lines.
-func (a *Async) Dropped() int64 { return a.dropped.Load() }
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
 // Close writes the queued lines and stops the goroutine. It waits for this for
 // at most one second.
-func (a *Async) Close() {
+func (a *AsyncWriter) Close() {
 	a.closeOnce.Do(func() { close(a.done) })
 	select {
 	case <-a.finished:
@@ -110,7 +110,7 @@
 	}
 }
 
-func (a *Async) run() {
+func (a *AsyncWriter) run() {
 	defer close(a.finished)
 	for {
 		select {
@@ -128,7 +128,7 @@
 
 // write writes a line and counts it as dropped on an error, so that the process
 // continues if the reader of the log is gone.
-func (a *Async) write(line []byte) {
+func (a *AsyncWriter) write(line []byte) {
 	if _, err := a.out.Write(line); err != nil {
 		a.dropped.Add(1)
 	}
--- a/io/trans/logs/async_test.go
+++ b/io/trans/logs/async_test.go
@@ -29,7 +29,7 @@
 // the log has stopped reading. Lines are dropped and counted instead.
 func TestBlockedReader(t *testing.T) {
 	out := &blockedWriter{unblock: make(chan struct{})}
-	a := NewAsync(out, clock.Real())
+	a := NewAsyncWriter(out, clock.Real())
 	const lines = 2 * ringLines
 	for range lines {
 		_, err := a.Write([]byte("level=warn msg=x\n"))
@@ -48,7 +48,7 @@
 func TestInfoBudget(t *testing.T) {
 	var out bytes.Buffer
 	fake := clock.NewFake(0)
-	a := NewAsync(&out, fake.Clock())
+	a := NewAsyncWriter(&out, fake.Clock())
 	line := []byte("level=info " + strings.Repeat("x", 1000) + "\n")
 	for range 2 * infoBurstBytes / len(line) {
 		_, _ = a.Write(line)
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -77,7 +77,7 @@
 
 // RunJobsControl is like RunControl but also schedules jobs if o.Address is set.
 func RunJobsControl(cfg conf.Control, o JobsOptions, out io.Writer) error {
-	async := logs.NewAsync(out, clock.Real())
+	async := logs.NewAsyncWriter(out, clock.Real())
 	defer async.Close()
 	lg, err := logs.New(async, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
 	if err != nil {
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -70,7 +70,7 @@
 // RunEntry runs an entry process until a signal stops it, and writes its log to
 // out.
 func RunEntry(cfg conf.Entry, out io.Writer) error {
-	async := logs.NewAsync(out, clock.Real())
+	async := logs.NewAsyncWriter(out, clock.Real())
 	defer async.Close()
 	lg, err := logs.New(async, logs.Settings{Level: cfg.LogLevel, Process: cfg.Name, Zone: cfg.Zone}, clock.Real())
 	if err != nil {
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -166,7 +166,7 @@
 // its log to out.
 func RunSubmit(o SubmitOptions, out io.Writer) error {
 	clk := clock.Real()
-	async := logs.NewAsync(out, clk)
+	async := logs.NewAsyncWriter(out, clk)
 	defer async.Close()
 	lg, err := logs.New(async, logs.Settings{Level: o.LogLevel, Process: o.Name, Zone: o.Zone}, clk)
 	if err != nil {
