Reword front: comments, messages and unexported names

Read badly: which thing was sent or returned in the doc comments of the package and of send (a grant was both returned and released), the reason for the size check of getBuffer, the connections that offerLoad opens, an alternating benchmark, the largest request timeout (only the default is meant), and test labels such as cut, crossed and silent.

Now: finishGrant is releaseGrant, the receiver and the result of parse have the usual names, the fields of the benchmarks say what they hold. The refusal of an attempt that wrote no byte says that the request could not be sent to the upstream (it said could not be reached, also for a full pool), the header refusals name the valid values. Labels of rows in TestOutcomes changed; the rows and their checks are the same.

--- a/io/trans/front/bench_test.go
+++ b/io/trans/front/bench_test.go
@@ -23,26 +23,26 @@
 // callers is the number of connections of the throughput benchmarks.
 const callers = 64
 
-// caller is one connection that sends the same request repeatedly.
+// caller is one connection that sends the same request again and again.
 type caller struct {
-	conn  net.Conn
-	in    *bufio.Reader
-	bytes []byte
+	conn      net.Conn
+	responses *bufio.Reader
+	request   []byte
 }
 
 func dialCaller(b testing.TB, address, header string) *caller {
 	c, err := net.Dial("tcp", address)
 	assert.NilError(b, err)
 	b.Cleanup(func() { _ = c.Close() })
-	return &caller{conn: c, in: bufio.NewReader(c), bytes: []byte("POST /svc/x HTTP/1.1\r\nHost: svc\r\n" + header + "Content-Length: 5\r\n\r\nhello")}
+	return &caller{conn: c, responses: bufio.NewReader(c), request: []byte("POST /svc/x HTTP/1.1\r\nHost: svc\r\n" + header + "Content-Length: 5\r\n\r\nhello")}
 }
 
 // call sends one request and returns the outcome header of its response.
 func (c *caller) call() (outcome string, err error) {
-	if _, err = c.conn.Write(c.bytes); err != nil {
+	if _, err = c.conn.Write(c.request); err != nil {
 		return "", err
 	}
-	resp, err := http.ReadResponse(c.in, nil)
+	resp, err := http.ReadResponse(c.responses, nil)
 	if err != nil {
 		return "", err
 	}
@@ -50,8 +50,9 @@
 	return resp.Header.Get(HeaderOutcome), err
 }
 
-// burst sends n requests in total over the callers. It returns the rate in
-// requests per second and the median latency in microseconds.
+// burst sends n requests in total over all callers, as fast as their responses
+// arrive. It returns the rate in requests per second and the median latency in
+// microseconds.
 func burst(b testing.TB, cs []*caller, n int) (rate, medianMicros float64) {
 	var left atomic.Int64
 	left.Store(int64(n))
@@ -87,9 +88,9 @@
 }
 
 // BenchmarkAgainstReverseProxy compares the front end with the reverse proxy of
-// the standard library and with direct calls, in alternating rounds of 20,000
-// requests over 64 connections and 2,000 over one. It reports the medians of the
-// rounds.
+// the standard library and with direct calls to the upstream. The three take
+// turns; in each turn, one gets 20,000 requests over 64 connections and then
+// 2,000 over one connection. The medians over all turns are reported.
 func BenchmarkAgainstReverseProxy(b *testing.B) {
 	answer := make([]byte, 256)
 	upstreamAddress := upstream(b, func(w http.ResponseWriter, r *http.Request) {
@@ -102,18 +103,18 @@
 	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
 	proxyServer := httptest.NewServer(proxy)
 	b.Cleanup(proxyServer.Close)
-	sides := []struct {
-		name, address string
-		callers       []*caller
-		rates, times  []float64
-		single        []float64
+	systems := []struct {
+		name, address    string
+		callers          []*caller
+		rates, latencies []float64
+		oneConnLatencies []float64
 	}{
 		{name: "direct", address: upstreamAddress},
 		{name: "proxy", address: proxyServer.Listener.Addr().String()},
 		{name: "front", address: g.url[len("http://"):]},
 	}
-	for i := range sides {
-		s := &sides[i]
+	for i := range systems {
+		s := &systems[i]
 		for range callers {
 			s.callers = append(s.callers, dialCaller(b, s.address, HeaderCustomer+": acme\r\n"))
 		}
@@ -121,26 +122,26 @@
 	}
 	b.ResetTimer()
 	for range b.N {
-		for i := range sides {
-			s := &sides[i]
+		for i := range systems {
+			s := &systems[i]
 			rate, micros := burst(b, s.callers, 20_000)
-			s.rates, s.times = append(s.rates, rate), append(s.times, micros)
+			s.rates, s.latencies = append(s.rates, rate), append(s.latencies, micros)
 			_, micros = burst(b, s.callers[:1], 2000)
-			s.single = append(s.single, micros)
+			s.oneConnLatencies = append(s.oneConnLatencies, micros)
 		}
 	}
-	for i := range sides {
-		s := &sides[i]
+	for i := range systems {
+		s := &systems[i]
 		b.ReportMetric(median(s.rates), s.name+"-req/s")
-		b.ReportMetric(median(s.times), s.name+"-us")
-		b.ReportMetric(median(s.single), s.name+"-1-conn-us")
+		b.ReportMetric(median(s.latencies), s.name+"-us")
+		b.ReportMetric(median(s.oneConnLatencies), s.name+"-1-conn-us")
 	}
-	b.ReportMetric(median(sides[2].rates)/median(sides[1].rates), "front/proxy")
+	b.ReportMetric(median(systems[2].rates)/median(systems[1].rates), "front/proxy")
 }
 
-// BenchmarkUnusedLending compares the throughput with lending disabled and with
-// lending enabled but no other process to borrow from. The two alternate, and
-// medians are reported, because the speed of the machine varies.
+// BenchmarkUnusedLending compares the throughput with lending disabled to that
+// with lending enabled but no other process to borrow from. The two are measured
+// in turn and medians are reported, because the speed of the machine varies.
 func BenchmarkUnusedLending(b *testing.B) {
 	answer := make([]byte, 256)
 	up := upstream(b, func(w http.ResponseWriter, r *http.Request) {
--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -12,25 +12,25 @@
 // blocked read or write.
 var expiredDeadline = time.Unix(1, 0)
 
-var errDetached = errors.New("the request has ended")
+var errDetached = errors.New("the attempt that sent this body has ended")
 
 // payload is the body of a request: a buffered part and, if the body is larger
 // than the buffer, the rest, which is read from the caller's connection.
 type payload struct {
 	// head is the buffered part, in a pooled buffer.
 	head []byte
-	// whole is true if head is the whole body.
+	// whole is true if head is the whole body; rest is nil then.
 	whole bool
 	rest  io.Reader
 	// restLimit is the number of bytes of rest that may be read.
 	restLimit int64
-	// size is the size of the body in bytes; -1 if it is streamed and none was
-	// declared.
+	// size is the size of the body in bytes; -1 for a streamed body without a
+	// declared length.
 	size int64
 }
 
-// readPayload reads the body up to the size of buf. A caller that sends too
-// slowly is refused after BodyReadTimeout, before its request holds a slot.
+// readPayload reads the body until it ends or buf is full. A request whose caller
+// sends too slowly is refused after BodyReadTimeout, before it holds a slot.
 func readPayload(cfg *Settings, w http.ResponseWriter, r *http.Request, buf []byte) (payload, *Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return payload{whole: true}, nil
@@ -47,7 +47,7 @@
 	case err != nil:
 		return p, newError("body", KindBody, http.StatusBadRequest, "the body could not be read: %w", err)
 	case !inTime:
-		return p, newError("body", KindBody, http.StatusBadRequest, "the body took longer than %d ms", cfg.BodyReadTimeout)
+		return p, newError("body", KindBody, http.StatusBadRequest, "the body was not received within %d ms", cfg.BodyReadTimeout)
 	case int64(n) == r.ContentLength:
 		p.whole = true
 	default:
@@ -65,66 +65,65 @@
 	// rest and restLimit are used by one goroutine of net/http at a time.
 	rest      io.Reader
 	restLimit int64
-	// streamed is true once Read has read from rest; a retry is no longer
-	// possible then.
+	// streamed is true once Read has read from rest. The request cannot be
+	// retried then, because what was read from rest is not buffered.
 	streamed bool
-	// rewound is the body that replaces this one after a rewind; nil without
-	// one.
+	// rewound is the body returned by rewind; nil before that.
 	rewound *attemptBody
 }
 
 // Read implements io.Reader.
-func (o *attemptBody) Read(p []byte) (int, error) {
-	o.mu.Lock()
-	if o.detached {
-		o.mu.Unlock()
+func (b *attemptBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	if b.detached {
+		b.mu.Unlock()
 		return 0, errDetached
 	}
-	if len(o.head) > 0 || o.rest == nil {
-		n := copy(p, o.head)
-		o.head = o.head[n:]
-		o.mu.Unlock()
+	if len(b.head) > 0 || b.rest == nil {
+		n := copy(p, b.head)
+		b.head = b.head[n:]
+		b.mu.Unlock()
 		if n == 0 && len(p) > 0 {
 			return 0, io.EOF
 		}
 		return n, nil
 	}
-	o.streamed = true
-	o.mu.Unlock()
-	if o.restLimit <= 0 {
-		// A body that continues beyond the limit fails the request.
+	b.streamed = true
+	b.mu.Unlock()
+	if b.restLimit <= 0 {
+		// A body that continues beyond the limit makes the request fail.
 		var one [1]byte
-		if n, err := o.rest.Read(one[:]); n == 0 && err != nil {
+		if n, err := b.rest.Read(one[:]); n == 0 && err != nil {
 			return 0, err
 		}
 		return 0, newError("body", KindBody, http.StatusRequestEntityTooLarge, "the body is too large")
 	}
-	n, err := o.rest.Read(p[:min(int64(len(p)), o.restLimit)])
-	o.restLimit -= int64(n)
+	n, err := b.rest.Read(p[:min(int64(len(p)), b.restLimit)])
+	b.restLimit -= int64(n)
 	return n, err
 }
 
 // Close implements io.Closer.
-func (o *attemptBody) Close() error { return nil }
+func (b *attemptBody) Close() error { return nil }
 
 // detach makes later reads fail, so that the buffer can be reused, and reports
-// whether the rest of the body was already read from.
-func (o *attemptBody) detach() (streamed bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.detached = true
-	o.head = nil
-	if o.rewound != nil {
-		o.rewound.detach()
+// whether Read has already read from rest.
+func (b *attemptBody) detach() (streamed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.detached = true
+	b.head = nil
+	if b.rewound != nil {
+		b.rewound.detach()
 	}
-	return o.streamed
+	return b.streamed
 }
 
 // rewind returns a body that starts again at the buffered part. It is a new
 // attemptBody, because net/http may still read the previous one.
-func (o *attemptBody) rewind(head []byte) *attemptBody {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.rewound = &attemptBody{head: head, detached: o.detached}
-	return o.rewound
+func (b *attemptBody) rewind(head []byte) *attemptBody {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rewound = &attemptBody{head: head, detached: b.detached}
+	return b.rewound
 }
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -28,8 +28,8 @@
 	counts                     struct{ ran, notRun, unknown, duplicate, aborted, retries atomic.Int64 }
 }
 
-// New returns a handler that sends requests through client, under grants of
-// dispatcher.
+// New returns a handler that sends requests through client once dispatcher has
+// granted them.
 func New[D Dispatcher, C Claimer](cfg Settings, clk clock.Clock, dispatcher D, claims C, client *uplink.Client) *Handler[D, C] {
 	var seed [6]byte
 	// crypto/rand documents that Read never fails.
@@ -48,7 +48,8 @@
 
 // getBuffer returns a pooled buffer for a body of the given declared length; a
 // negative length means that none was declared. A small buffer is used only if
-// it holds at least one byte more than length.
+// it is larger than length, because readUpTo recognizes the end of a body only
+// while the buffer is not full.
 func (f *Handler[D, C]) getBuffer(length int64) *[]byte {
 	if length >= 0 && length < smallBufferBytes && f.cfg.BufferBytes >= smallBufferBytes {
 		return f.smallBuffers.Get().(*[]byte)
@@ -85,17 +86,17 @@
 	// deadline is the time at which the caller stops waiting.
 	deadline clock.Millis
 	body     payload
-	// fallback is the not-run response of an upstream. It is delivered if the
-	// dispatcher refuses the retry.
+	// fallback is the response of an upstream that did not run the request. It
+	// is delivered if the dispatcher refuses the retry.
 	fallback *bufferedResponse
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Handler[D, C]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := exchange{w: w, r: r, id: f.idPrefix + strconv.FormatUint(f.idSequence.Add(1), 36)}
-	parsed, fault := parse(&f.cfg, r)
-	if fault != nil {
-		f.replyRefused(&x, fault.Status, fault.Err.Error(), 0)
+	parsed, err := parse(&f.cfg, r)
+	if err != nil {
+		f.replyRefused(&x, err.Status, err.Err.Error(), 0)
 		return
 	}
 	x.parsed = parsed
@@ -106,8 +107,8 @@
 	if r.ContentLength != 0 {
 		buf := f.getBuffer(r.ContentLength)
 		defer f.putBuffer(buf)
-		if x.body, fault = readPayload(&f.cfg, w, r, *buf); fault != nil {
-			f.replyRefused(&x, fault.Status, fault.Err.Error(), 0)
+		if x.body, err = readPayload(&f.cfg, w, r, *buf); err != nil {
+			f.replyRefused(&x, err.Status, err.Err.Error(), 0)
 			return
 		}
 	} else {
@@ -125,8 +126,8 @@
 	key := model.ClaimKey{Customer: x.parsed.customer, Service: x.parsed.service, Key: x.parsed.key}
 	claim, err := f.claims.Claim(x.ctx, key, x.id)
 	if err != nil {
-		// The claim may have been granted and only the response lost, so it is
-		// released.
+		// The claim may have been granted although the response was lost, so
+		// it is released.
 		f.claims.Finish(model.ClaimOutcome{Key: key, Token: x.id, NotRun: true})
 		f.replyRefused(x, http.StatusServiceUnavailable, "the idempotency key could not be claimed: "+err.Error(), clock.Second)
 		return
@@ -136,8 +137,8 @@
 		return
 	}
 	outcome := model.ClaimOutcome{Key: key, Token: x.id, State: model.ClaimUnknown}
-	// Deferred, because run panics to abort the caller's connection and the
-	// outcome must be recorded then too.
+	// Deferred, because the outcome must also be recorded if run panics to
+	// abort the caller's connection.
 	defer func() { f.claims.Finish(outcome) }()
 	result := f.run(x)
 	switch {
@@ -152,8 +153,8 @@
 // outcome is unknown.
 type runResult struct {
 	notRun bool
-	// status is the status code of a response that was read completely; 0 if
-	// there is none.
+	// status is the status code of a response that was read completely; 0
+	// without one.
 	status int
 }
 
--- a/io/trans/front/front_test.go
+++ b/io/trans/front/front_test.go
@@ -42,8 +42,8 @@
 	_, _ = io.WriteString(w, r.Method+" "+r.URL.Path+" "+string(b))
 }
 
-// TestRequestAndResponsePassThrough guards against requests or responses that
-// are altered by the front end.
+// TestRequestAndResponsePassThrough guards against a front end that alters
+// requests or responses, or opens a connection for each request.
 func TestRequestAndResponsePassThrough(t *testing.T) {
 	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 10)}, upstream(t, echo))
 	for range 3 {
--- a/io/trans/front/helpers_test.go
+++ b/io/trans/front/helpers_test.go
@@ -62,22 +62,22 @@
 	client     *http.Client
 }
 
-func contract(name model.Customer, inFlight, queue, retry int) model.Contract {
+func contract(name model.Customer, concurrency, queue, retryPercent int) model.Contract {
 	return model.Contract{
-		Customer: name, Concurrency: inFlight, Queue: queue, RetryPercent: retry,
+		Customer: name, Concurrency: concurrency, Queue: queue, RetryPercent: retryPercent,
 		Pools: []model.PoolShare{{Pool: "svc", Instances: 1}},
 	}
 }
 
-// newTestEntry starts a front end whose pool svc has an upstream at each of the
-// given addresses, with the given number of slots each.
+// newTestEntry starts a front end whose pool svc has one upstream at each of the
+// given addresses, each with the given number of slots.
 func newTestEntry(t testing.TB, slots int, contracts []model.Contract, addresses ...string) *testEntry {
 	t.Helper()
 	return newLendingTestEntry(t, 0, slots, contracts, addresses...)
 }
 
-// newLendingTestEntry is newTestEntry with the lease duration of loans; 0
-// disables lending.
+// newLendingTestEntry is like newTestEntry, with the given lease duration of
+// loans; 0 disables lending.
 func newLendingTestEntry(t testing.TB, lease clock.Millis, slots int, contracts []model.Contract, addresses ...string) *testEntry {
 	t.Helper()
 	clk := clock.Real()
@@ -105,6 +105,7 @@
 	assert.NilError(t, err)
 	srv := NewServer(g.handler, g.handler.cfg.MaxHeaderBytes)
 	go func() { _ = srv.Serve(l) }()
+	// Announcements expire unless they are repeated.
 	renew := time.NewTicker(time.Second)
 	stop := make(chan struct{})
 	go func() {
@@ -148,7 +149,7 @@
 	assert.NilError(t, g.dispatcher.Announce(announcement(i, address, slots)))
 }
 
-// request builds a request of a customer. header alternates names and values.
+// request builds a request of a customer. header holds names and values in turn.
 func (g *testEntry) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
 	t.Helper()
 	r, err := http.NewRequest(method, g.url+"/svc/x", reader(body))
--- a/io/trans/front/load_test.go
+++ b/io/trans/front/load_test.go
@@ -12,19 +12,17 @@
 )
 
 const (
-	// serviceTime is the run time of a request on the upstreams of the load
-	// benchmarks, of which there are upstreamCount with slotsPerUpstream slots
-	// each.
+	// serviceTime is the time that an upstream takes for a request.
 	serviceTime      = 20 * time.Millisecond
 	slotsPerUpstream = 8
 	upstreamCount    = 4
-	// capacityPerSecond is the number of requests that all slots can run in a
-	// second.
+	// capacityPerSecond is the number of requests per second that all slots
+	// together can run.
 	capacityPerSecond = float64(upstreamCount*slotsPerUpstream) / 0.020
 )
 
 // loadUpstreams counts, over all upstreams of a benchmark, the requests that
-// arrived and those that arrived while all slots were busy.
+// arrived and those that arrived while all slots of their upstream were busy.
 type loadUpstreams struct {
 	arrived, overSlots atomic.Int64
 }
@@ -52,16 +50,16 @@
 // customerResult holds the outcomes of one customer's requests in a run.
 type customerResult struct {
 	sent, ran, notRun, other int
-	// inTime counts the requests of ran that were answered before the end of
-	// the run.
+	// inTime counts those of the ran requests whose responses arrived before
+	// the end of the run.
 	inTime int
 	// refusals holds the latencies of refusals, in ascending order.
 	refusals []time.Duration
 }
 
-// offerLoad sends requests at the given rate per second for the duration d. It
-// uses enough connections to sustain the rate when each request takes up to the
-// timeout, which is in milliseconds.
+// offerLoad sends requests at the given rate per second for the duration d, with
+// the given timeout in milliseconds. Each connection sends four requests per
+// second, so the rate is sustained only if requests take at most 250 ms.
 func offerLoad(b testing.TB, g *testEntry, customer string, rate float64, timeout string, d time.Duration) *customerResult {
 	n := int(rate/4) + 1
 	var mu sync.Mutex
@@ -119,8 +117,8 @@
 	return float64(v[int(q*float64(len(v)-1))].Microseconds()) / 1000
 }
 
-// BenchmarkGoodput measures the goodput at 1, 2 and 5 times the capacity, for 3 s
-// each, with a timeout of 200 ms.
+// BenchmarkGoodput offers 1, 2 and 5 times the capacity for 3 s each, with a
+// timeout of 200 ms, and measures the goodput.
 func BenchmarkGoodput(b *testing.B) {
 	for _, load := range []struct {
 		name string
@@ -137,6 +135,8 @@
 				b.ReportMetric(float64(r.inTime)/(capacityPerSecond*3), "goodput/capacity")
 				b.ReportMetric(float64(r.sent)/(capacityPerSecond*3), "offered/capacity")
 				b.ReportMetric(float64(r.other), "unknown")
+				// The requests that arrived at an upstream although their outcome
+				// is not-run.
 				b.ReportMetric(float64(l.arrived.Load()-int64(r.ran+r.other)), "untrue")
 				b.ReportMetric(float64(g.dispatcher.Snapshot().Counts.Ejections), "ejections")
 				b.ReportMetric(float64(l.overSlots.Load()), "over-slots")
@@ -147,8 +147,9 @@
 	}
 }
 
-// BenchmarkFlood measures what one customer gets that offers 0.45 of the capacity
-// while another with an equal contract floods the pool with 5 times the capacity.
+// BenchmarkFlood measures the share of one customer's requests that run while
+// another customer with an equal contract floods the pool. The first offers 0.45
+// of the capacity, the second 5 times the capacity.
 func BenchmarkFlood(b *testing.B) {
 	l := &loadUpstreams{}
 	contracts := []model.Contract{contract("calm", 100, 400, 10), contract("flood", 100, 400, 10)}
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -23,9 +23,9 @@
 
 const largeBodyBytes = 300 << 10
 
-// TestOutcomes guards against outcomes that do not match what happened at the
-// upstream, and against wrong records of idempotency keys. The upstream counts
-// the arrivals.
+// TestOutcomes guards against outcomes that do not match what the upstream did,
+// against requests that reach it more than once, and against a wrong outcome
+// recorded for an idempotency key.
 func TestOutcomes(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -38,18 +38,18 @@
 		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 500, OutcomeRan},
 		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", 204, OutcomeRan},
 		{"refused", "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy", 503, OutcomeNotRun},
-		{"refused at length", "HTTP/1.1 503 Busy\r\nContent-Length: 100000\r\nCamphorridge-Outcome: not-run\r\n\r\n" + strings.Repeat("x", 100_000), 503, OutcomeNotRun},
-		{"claims to have run", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Outcome: duplicate\r\n\r\n", 200, OutcomeRan},
+		{"refused with large body", "HTTP/1.1 503 Busy\r\nContent-Length: 100000\r\nCamphorridge-Outcome: not-run\r\n\r\n" + strings.Repeat("x", 100_000), 503, OutcomeNotRun},
+		{"unsupported outcome", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Outcome: duplicate\r\n\r\n", 200, OutcomeRan},
 		{"closed", "", 502, OutcomeUnknown},
 		{"no length", "HTTP/1.1 200 OK\r\n\r\nhi", 502, OutcomeUnknown},
-		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", 502, OutcomeUnknown},
-		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi", 502, OutcomeUnknown},
-		{"crossed", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: x\r\n\r\n", 502, OutcomeUnknown},
-		{"silent", "silent", 504, OutcomeUnknown},
+		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", 502, OutcomeUnknown},
+		{"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi", 502, OutcomeUnknown},
+		{"other request ID", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCamphorridge-Request-Id: x\r\n\r\n", 502, OutcomeUnknown},
+		{"no response", "none", 504, OutcomeUnknown},
 	} {
 		hang := make(chan struct{})
 		u := newScriptedUpstream(t, func(conn net.Conn, _ *http.Request) {
-			if c.response == "silent" {
+			if c.response == "none" {
 				<-hang
 				return
 			}
@@ -58,7 +58,7 @@
 		g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 		for _, key := range []string{"", "k1"} {
 			r := g.request(t, "POST", "acme", "x", "X-Mark", "m"+key, HeaderTimeout, "5000")
-			if c.response == "silent" {
+			if c.response == "none" {
 				r.Header.Set(HeaderTimeout, "100")
 			}
 			if key != "" {
@@ -91,7 +91,8 @@
 	return o, ok
 }
 
-// waitIdle waits until no request holds a slot and returns the status then.
+// waitIdle waits until no request holds a slot, and returns the status of the
+// dispatcher at that time.
 func (g *testEntry) waitIdle(t testing.TB) entry.Status {
 	t.Helper()
 	var s entry.Status
@@ -104,8 +105,8 @@
 	return s
 }
 
-// TestRefusedRequests guards against sending invalid requests to an upstream,
-// and against refusals without an outcome.
+// TestRefusedRequests guards against invalid requests that reach an upstream, and
+// against refusals without an outcome or a reason.
 func TestRefusedRequests(t *testing.T) {
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -134,7 +135,8 @@
 		c.change(r)
 		resp, err := g.client.Do(r)
 		if err != nil && c.name == "large body" {
-			// The server may close before the client has written its body.
+			// The server may close the connection before the client has written
+			// the body.
 			continue
 		}
 		assert.NilError(t, err, c.name)
@@ -212,8 +214,9 @@
 	})
 }
 
-// TestDuplicates guards against running a request with an idempotency key
-// twice.
+// TestDuplicates guards against a second run of a request with the same
+// idempotency key, and against a run without a successful claim. GET requests
+// need no claim.
 func TestDuplicates(t *testing.T) {
 	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
 	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
@@ -232,9 +235,9 @@
 	assert.Equal(t, unclaimed.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
 
-// TestRetryAfterProvenNotRun guards against missing retries of requests that
-// did not run, against retries beyond the retry budget, and against retries
-// with an altered body.
+// TestRetryAfterProvenNotRun guards against requests that did not run but are not
+// retried, against retries beyond the retry budget, and against retries with an
+// altered body.
 func TestRetryAfterProvenNotRun(t *testing.T) {
 	busy := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
@@ -258,9 +261,9 @@
 	assert.Equal(t, g.handler.Counts().Retries >= s.Counts.Retries, true)
 }
 
-// TestDisconnectedCallerFreesSlot guards against a slot that stays taken after
-// the caller disconnected, and against counting the disconnect as a failure of
-// the upstream.
+// TestDisconnectedCallerFreesSlot guards against a slot that is not released when
+// the caller disconnects, and against counting the disconnect as a failure of the
+// upstream.
 func TestDisconnectedCallerFreesSlot(t *testing.T) {
 	got, hang := make(chan struct{}, 1), make(chan struct{})
 	defer close(hang)
@@ -280,8 +283,8 @@
 	assert.Equal(t, s.Upstreams[0].Score, 0.0)
 }
 
-// TestSlowBodyIsCutOff guards against callers that hold a slot or a goroutine
-// by sending slowly.
+// TestSlowBodyIsCutOff guards against callers that occupy a slot or a goroutine
+// for a long time by sending the body slowly.
 func TestSlowBodyIsCutOff(t *testing.T) {
 	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
 	g.handler.cfg.BodyReadTimeout = 50
--- a/io/trans/front/overload_test.go
+++ b/io/trans/front/overload_test.go
@@ -14,9 +14,9 @@
 )
 
 // TestOutcomesMatchArrivalsUnderOverload guards against the outcome not-run for
-// a request that reached an upstream, and against a request that reached one
-// twice, under overload and with deadlines that expire in every phase of a
-// request.
+// a request that reached an upstream, and against a request that reached an
+// upstream twice. The load exceeds the capacity, and deadlines expire in every
+// phase of a request.
 func TestOutcomesMatchArrivalsUnderOverload(t *testing.T) {
 	var mu sync.Mutex
 	arrived := map[string]int{}
--- a/io/trans/front/parse.go
+++ b/io/trans/front/parse.go
@@ -22,31 +22,31 @@
 }
 
 // parse validates a request and returns what the front end needs from it.
-func parse(cfg *Settings, r *http.Request) (in parsedRequest, err *Error) {
+func parse(cfg *Settings, r *http.Request) (req parsedRequest, err *Error) {
 	if r.Method == http.MethodConnect {
-		return in, badRequest("method %s is not supported", r.Method)
+		return req, badRequest("method %s is not supported", r.Method)
 	}
 	if headerBytes(r.Header) > cfg.MaxHeaderBytes {
-		return in, newError("parse", KindRequest, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than %d bytes", cfg.MaxHeaderBytes)
+		return req, newError("parse", KindRequest, http.StatusRequestHeaderFieldsTooLarge, "the header is larger than %d bytes", cfg.MaxHeaderBytes)
 	}
 	if r.ContentLength > cfg.MaxBodyBytes {
-		return in, newError("parse", KindRequest, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", cfg.MaxBodyBytes)
+		return req, newError("parse", KindRequest, http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", cfg.MaxBodyBytes)
 	}
 	path, found := strings.CutPrefix(r.URL.Path, "/")
 	service, _, slash := strings.Cut(path, "/")
 	if !found || !slash || !model.ValidName(service) {
-		return in, badRequest("the path does not begin with /<service>/")
+		return req, badRequest("the path does not begin with /<service>/")
 	}
 	customers := r.Header[HeaderCustomer]
 	if len(customers) != 1 || !model.ValidName(customers[0]) {
-		return in, badRequest("%s must be given once and hold a name", HeaderCustomer)
+		return req, badRequest("%s must be given once, with a valid name", HeaderCustomer)
 	}
-	in.customer, in.service = model.Customer(customers[0]), model.Pool(service)
-	if in.timeout, err = parseTimeout(cfg, r.Header[HeaderTimeout]); err != nil {
-		return in, err
+	req.customer, req.service = model.Customer(customers[0]), model.Pool(service)
+	if req.timeout, err = parseTimeout(cfg, r.Header[HeaderTimeout]); err != nil {
+		return req, err
 	}
-	in.key, err = parseKey(r)
-	return in, err
+	req.key, err = parseKey(r)
+	return req, err
 }
 
 func badRequest(format string, args ...any) *Error {
@@ -59,7 +59,7 @@
 	}
 	n, err := strconv.ParseUint(values[0], 10, 31)
 	if err != nil || n == 0 || len(values) > 1 {
-		return 0, badRequest("%s must be given once, as a number of ms above 0", HeaderTimeout)
+		return 0, badRequest("%s must be given once, as a positive number of milliseconds", HeaderTimeout)
 	}
 	return min(clock.Millis(n), cfg.MaxTimeout), nil
 }
@@ -81,8 +81,8 @@
 	return keys[0], nil
 }
 
-// headerBytes returns the size of the header fields as net/http counts it, with
-// 4 bytes per field for the colon, the space and the line break.
+// headerBytes returns the size of the header fields on the wire, including 4
+// bytes per field for the colon, the space and the line break.
 func headerBytes(h http.Header) int {
 	n := 0
 	for k, vs := range h {
--- a/io/trans/front/reply.go
+++ b/io/trans/front/reply.go
@@ -15,8 +15,8 @@
 	status int
 	header http.Header
 	body   []byte
-	// length is the declared length, which a response to HEAD has although it
-	// has no body; negative if none was declared.
+	// length is the declared length of the body; negative if none was
+	// declared. A response to HEAD declares one although it has no body.
 	length int64
 }
 
@@ -51,8 +51,8 @@
 	}
 }
 
-// replyRefused answers a request that did not run. A retryDelay of 0 sends no
-// Retry-After header.
+// replyRefused answers a request that did not run. With a retryDelay of 0 the
+// answer has no Retry-After header.
 func (f *Handler[D, C]) replyRefused(x *exchange, status int, reason string, retryDelay clock.Millis) {
 	f.counts.notRun.Add(1)
 	if retryDelay > 0 {
@@ -61,8 +61,8 @@
 	f.reply(x, status, OutcomeNotRun, reason)
 }
 
-// replyUnknown answers a request of which bytes may have been written but for
-// which no complete, valid response was received.
+// replyUnknown answers a request that may have run but for which no complete,
+// valid response was received.
 func (f *Handler[D, C]) replyUnknown(x *exchange, k uplink.Kind) {
 	f.counts.unknown.Add(1)
 	status := http.StatusBadGateway
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -13,48 +13,51 @@
 
 // attemptResult is the result of one attempt.
 type attemptResult struct {
+	// result is the outcome of the request, unless mayRetry is set.
 	result runResult
 	// mayRetry is true if the request certainly did not run and another
 	// attempt is allowed. Nothing has been written to the caller then, and
-	// reason says what happened.
+	// reason says why the attempt failed.
 	mayRetry bool
 	reason   string
 }
 
-// send makes one attempt under a grant and returns the grant as soon as the
-// upstream is done with the request.
+// send makes one attempt under a grant. It releases the grant as soon as the
+// attempt has failed or its response was read, before a buffered response is
+// written to the caller.
 func (f *Handler[D, C]) send(x *exchange, g entry.Grant, mayRetry bool) attemptResult {
 	started := f.clk.Now()
 	body := &attemptBody{head: x.body.head, rest: x.body.rest, restLimit: x.body.restLimit}
-	finishGrant := func(o entry.Outcome) { f.dispatcher.Done(g.Ticket, o, f.clk.Now()-started) }
+	releaseGrant := func(o entry.Outcome) { f.dispatcher.Done(g.Ticket, o, f.clk.Now()-started) }
 	up := uplink.Upstream{
 		Name: string(g.Upstream.Instance), WriteDeadline: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
 		MaxConnections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
 	}
 	if g.Upstream.LoanName != "" {
+		// Each loan has connections of its own.
 		up.Name = g.Upstream.LoanName
 	}
 	resp, res, err := f.client.Do(x.ctx, up, f.upstreamRequest(x, body))
 	if err != nil {
 		streamed := body.detach()
-		finishGrant(attemptOutcome(x.ctx, res))
+		releaseGrant(attemptOutcome(x.ctx, res))
 		if !res.NotRun {
 			f.replyUnknown(x, res.Kind)
 			return attemptResult{}
 		}
 		if mayRetry && !streamed && x.ctx.Err() == nil {
-			return attemptResult{mayRetry: true, reason: "the upstream could not be reached: " + res.Kind.String()}
+			return attemptResult{mayRetry: true, reason: "the request could not be sent to the upstream: " + res.Kind.String()}
 		}
-		f.replyRefused(x, http.StatusServiceUnavailable, "the upstream could not be reached: "+res.Kind.String(), clock.Second)
+		f.replyRefused(x, http.StatusServiceUnavailable, "the request could not be sent to the upstream: "+res.Kind.String(), clock.Second)
 		return attemptResult{result: runResult{notRun: true}}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return f.receive(x, resp, res, body, finishGrant, mayRetry)
+	return f.receive(x, resp, res, body, releaseGrant, mayRetry)
 }
 
-// receive reads the response and delivers it to the caller: buffered if it is
-// smaller than the buffer, streamed otherwise.
-func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *attemptBody, finishGrant func(entry.Outcome), mayRetry bool) attemptResult {
+// receive reads the response and delivers it to the caller: at once if its body
+// is smaller than the buffer, streamed otherwise.
+func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *attemptBody, releaseGrant func(entry.Outcome), mayRetry bool) attemptResult {
 	buf := f.getBuffer(resp.ContentLength)
 	defer f.putBuffer(buf)
 	n, err := 0, error(io.EOF)
@@ -64,27 +67,28 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		body.detach()
 		kind := failureKind(err)
-		finishGrant(attemptOutcome(x.ctx, uplink.Result{Kind: kind}))
+		releaseGrant(attemptOutcome(x.ctx, uplink.Result{Kind: kind}))
 		f.replyUnknown(x, kind)
 		return attemptResult{}
 	}
 	if err == nil {
-		return f.stream(x, resp, res.NotRun, (*buf)[:n], body, finishGrant)
+		return f.stream(x, resp, res.NotRun, (*buf)[:n], body, releaseGrant)
 	}
 	streamed := body.detach()
 	switch {
 	case res.NotRun:
-		finishGrant(entry.OutcomeBusy)
+		releaseGrant(entry.OutcomeBusy)
 	case resp.StatusCode >= http.StatusInternalServerError:
-		finishGrant(entry.OutcomeError)
+		releaseGrant(entry.OutcomeError)
 	default:
-		finishGrant(entry.OutcomeOK)
+		releaseGrant(entry.OutcomeOK)
 	}
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: (*buf)[:n], length: resp.ContentLength}
 	if !res.NotRun {
 		return attemptResult{result: f.deliver(x, buffered, OutcomeRan)}
 	}
 	if mayRetry && !streamed && x.ctx.Err() == nil {
+		// Copied, because buf goes back to its pool before the retry.
 		buffered.body = append([]byte(nil), buffered.body...)
 		x.fallback = buffered
 		return attemptResult{mayRetry: true, reason: "the upstream did not run the request"}
@@ -92,8 +96,8 @@
 	return attemptResult{result: f.deliver(x, buffered, OutcomeNotRun)}
 }
 
-// readUpTo reads until the buffer is full or r ends. It returns a nil error for
-// a full buffer, and io.EOF at the end of r.
+// readUpTo reads until buf is full or a read fails. The error is nil if buf is
+// full, and io.EOF if r ended before that.
 func readUpTo(r io.Reader, buf []byte) (n int, err error) {
 	for n < len(buf) && err == nil {
 		var k int
@@ -103,16 +107,18 @@
 	return n, err
 }
 
-// stream forwards a response that does not fit the buffer. If the response ends
-// early, stream panics with http.ErrAbortHandler to abort the caller's
-// connection, so that the caller notices the truncation.
-func (f *Handler[D, C]) stream(x *exchange, resp *http.Response, notRun bool, first []byte, body *attemptBody, finishGrant func(entry.Outcome)) attemptResult {
+// stream forwards a response that does not fit the buffer; buffered is the part
+// of its body that was already read. If the response ends early, stream panics
+// with http.ErrAbortHandler to abort the caller's connection, so that the caller
+// notices the truncation.
+func (f *Handler[D, C]) stream(x *exchange, resp *http.Response, notRun bool, buffered []byte, body *attemptBody, releaseGrant func(entry.Outcome)) attemptResult {
 	outcome := entry.OutcomeUnknown
 	defer func() {
 		body.detach()
-		finishGrant(outcome)
+		releaseGrant(outcome)
 	}()
-	// Interrupts the write to a caller that does not read, at the deadline.
+	// At the deadline, interrupts a write that blocks because the caller does
+	// not read.
 	stop := context.AfterFunc(x.ctx, func() {
 		_ = http.NewResponseController(x.w).SetWriteDeadline(expiredDeadline)
 	})
@@ -125,7 +131,7 @@
 	}
 	h.Set(HeaderRequestID, x.id)
 	x.w.WriteHeader(resp.StatusCode)
-	_, err := x.w.Write(first)
+	_, err := x.w.Write(buffered)
 	callerGone := err != nil
 	if err == nil {
 		_, err = io.Copy(writerOnly{x.w}, resp.Body)
@@ -166,7 +172,7 @@
 }
 
 // attemptOutcome returns the outcome to report to the dispatcher for an attempt
-// without a response.
+// without a complete response.
 func attemptOutcome(ctx context.Context, res uplink.Result) entry.Outcome {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) || res.Kind == uplink.KindCancelled:
--- a/io/trans/front/server.go
+++ b/io/trans/front/server.go
@@ -10,18 +10,19 @@
 	"camphorridge/core/state/clock"
 )
 
-// The timeouts of a caller's connection.
+// The timeouts of the connections from callers.
 const (
 	// readHeaderTimeout bounds the reading of a request header.
 	readHeaderTimeout = 5 * time.Second
 	// readTimeout bounds the reading of a whole request. It exceeds the
-	// largest request timeout, so that the request timeout applies first.
+	// default of Settings.MaxTimeout, so that the request timeout applies
+	// first.
 	readTimeout = 75 * time.Second
 	// writeTimeout bounds a request from its header to the end of its
 	// response.
 	writeTimeout = 90 * time.Second
 	// idleTimeout exceeds the idle timeout of common clients and load
-	// balancers, so that they close the connection first.
+	// balancers, so that they close an idle connection before the server does.
 	idleTimeout = 2 * time.Minute
 )
 
@@ -30,9 +31,8 @@
 	http *http.Server
 }
 
-// NewServer returns a server for a handler. The handler refuses headers larger
-// than maxHeader bytes; net/http itself refuses those that are about twice as
-// large.
+// NewServer returns a server for a handler that refuses headers larger than
+// maxHeader bytes. net/http itself refuses headers from about twice that size.
 func NewServer(h http.Handler, maxHeader int) *Server {
 	return &Server{http: &http.Server{
 		Handler:           h,
@@ -56,8 +56,8 @@
 }
 
 // Shutdown stops accepting connections and waits up to timeout for the requests
-// in flight. If some are still in flight then, it closes their connections and
-// returns a KindServe error.
+// in flight. If some are still in flight after that, it closes their connections
+// and returns a KindServe error.
 func (s *Server) Shutdown(timeout clock.Millis) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 	defer cancel()
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -50,7 +50,8 @@
 )
 
 // Error is the error type of the package. Op is the operation that failed, and
-// Status is the HTTP status code for the caller; 0 without one.
+// Status is the HTTP status code to send to the caller; 0 for KindServe, which
+// concerns no single request.
 type Error struct {
 	Op     string
 	Kind   Kind
@@ -71,35 +72,36 @@
 // Dispatcher grants upstream slots to requests or refuses them. The production
 // implementation is entry.Dispatcher.
 type Dispatcher interface {
-	// Acquire waits until the request is granted or refused. If the refusal is nil,
-	// Done must be called once for the grant.
+	// Acquire waits until the request is granted a slot or refused. If the
+	// refusal is nil, Done must be called once for the grant.
 	Acquire(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal)
-	// Done releases a grant. It reports the outcome of the attempt and the time
-	// that it took.
+	// Done releases a grant and tells the dispatcher the outcome and the
+	// duration of the attempt.
 	Done(t entry.Ticket, o entry.Outcome, elapsed clock.Millis)
 }
 
 // Claimer grants the exclusive right to run a request with an idempotency key.
 type Claimer interface {
-	// Claim returns whether the request with this token may run. After an
-	// error the claim may or may not have been granted.
+	// Claim claims key for the request with the given token and returns
+	// whether the request may run. After an error the claim may or may not
+	// have been granted.
 	Claim(ctx context.Context, key model.ClaimKey, token string) (model.ClaimAnswer, error)
-	// Finish records the outcome, or releases the claim if the request did
-	// not run. It must not block.
+	// Finish records the outcome of a claimed request, or releases the claim
+	// if the request did not run. It must not block.
 	Finish(o model.ClaimOutcome)
 }
 
 // Settings configures the front end.
 type Settings struct {
 	Self model.Process
-	// DefaultTimeout applies to requests without HeaderTimeout. MaxTimeout is
-	// the upper limit of the header's value.
+	// DefaultTimeout applies to requests without HeaderTimeout. A value of the
+	// header above MaxTimeout is reduced to MaxTimeout.
 	DefaultTimeout, MaxTimeout clock.Millis
 	// BufferBytes is the size up to which request and response bodies are
 	// buffered whole; larger ones are streamed.
 	BufferBytes int
-	// MaxBodyBytes bounds the body of a request, and MaxHeaderBytes its
-	// header.
+	// MaxBodyBytes and MaxHeaderBytes bound the body and the header of a
+	// request.
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
 	// BodyReadTimeout bounds the reading of the buffered part of a request
@@ -126,8 +128,9 @@
 
 // Counts holds the counters of the front end; they never decrease. Ran, NotRun,
 // Unknown and Duplicate count requests by outcome. Aborted counts the requests
-// whose streamed response could not be forwarded to its end; Unknown includes
-// them. Retries counts retries, including those that the dispatcher refuses.
+// whose streamed response could not be forwarded to its end; they are also
+// included in Unknown. Retries counts retries, including those that the
+// dispatcher refuses.
 type Counts struct {
 	Ran, NotRun, Unknown, Duplicate, Aborted, Retries int64
 }
--- a/io/trans/front/upstream_test.go
+++ b/io/trans/front/upstream_test.go
@@ -9,9 +9,9 @@
 	"testing"
 )
 
-// scriptedUpstream is an upstream whose responses are given byte by byte and
-// which counts how often each request arrived. It closes the connection after
-// each response.
+// scriptedUpstream is an upstream whose responses a test writes as raw bytes. It
+// counts how often each request arrived, by the header X-Mark, and closes the
+// connection after each response.
 type scriptedUpstream struct {
 	address  string
 	mu       sync.Mutex
@@ -43,8 +43,8 @@
 	return u.arrivals[mark]
 }
 
-// writeRaw writes s. It ignores errors: if a test needs the bytes to arrive, it
-// checks the response.
+// writeRaw writes s and ignores errors: a test that needs the bytes to arrive
+// checks the response instead.
 func writeRaw(c io.Writer, s string) { _, _ = io.WriteString(c, s) }
 
 // writeResponse writes a response with the header Connection: close. Without it,
