Reword uplink: comments, unexported names and test labels

The labels cut header, cut body and cut chunk are truncated header, body and chunk; the messages of pollResult and of TestNotRunIsTrueAtEveryDeadline are reworded. The checks are the same.

--- a/io/trans/uplink/atmostonce_test.go
+++ b/io/trans/uplink/atmostonce_test.go
@@ -16,9 +16,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// closeAt returns a connection handler that closes the connection before,
-// during or after the arrival of a request. If reused is set, the first
-// connection answers one request before that.
+// closeAt returns a connection handler that closes the connection before, during
+// or after the arrival of a request, depending on moment. If reused is set, the
+// first connection answers one request before that.
 func closeAt(moment string, reused bool) func(int, net.Conn) {
 	return func(n int, c net.Conn) {
 		in := bufio.NewReader(c)
@@ -47,8 +47,7 @@
 	}
 }
 
-// requestBodies maps each way to give a request its body to a function that
-// does so.
+// requestBodies maps each kind of request body to a function that sets it.
 var requestBodies = map[string]func(r *http.Request){
 	"none": func(*http.Request) {},
 	"stream": func(r *http.Request) {
@@ -62,13 +61,13 @@
 }
 
 // TestNoRequestIsSentTwice guards against a request that reaches the upstream
-// twice, for every kind of request that net/http itself would retry, and
-// against a false NotRun. The bytes that the upstream received decide.
+// twice, for every kind of request that net/http itself would retry, and against
+// a false NotRun. Both are checked against the bytes that the upstream received.
 func TestNoRequestIsSentTwice(t *testing.T) {
 	for _, moment := range []string{"before", "during", "after"} {
 		for _, reused := range []bool{false, true} {
 			for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "PATCH", "DELETE"} {
-				for kind, with := range requestBodies {
+				for kind, setBody := range requestBodies {
 					for _, key := range []string{"", "Idempotency-Key", "X-Idempotency-Key"} {
 						name := fmt.Sprint(moment, reused, method, kind, key)
 						checkSentOnce(t, name, moment, reused, func(id string) *http.Request {
@@ -76,7 +75,7 @@
 							if key != "" {
 								r.Header.Set(key, "k")
 							}
-							with(r)
+							setBody(r)
 							return r
 						})
 					}
@@ -109,9 +108,9 @@
 	}
 }
 
-// TestNotRunIsTrueAtEveryDeadline guards against a NotRun for a request that
-// net/http still writes afterwards. The deadlines fall into every phase of
-// opening a connection and writing.
+// TestNotRunIsTrueAtEveryDeadline guards against NotRun for a request that
+// net/http still writes afterwards. The deadlines expire in every phase of opening
+// a connection and of writing the request.
 func TestNotRunIsTrueAtEveryDeadline(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
 		time.Sleep(200 * time.Microsecond)
@@ -145,12 +144,12 @@
 	for id, isNotRun := range notRun {
 		arrivals := u.arrivals(id)
 		assert.Assert(t, arrivals <= 1, "%s arrived %d times", id, arrivals)
-		assert.Assert(t, !isNotRun || arrivals == 0, "%s arrived and was called not-run", id)
+		assert.Assert(t, !isNotRun || arrivals == 0, "%s arrived although its result says NotRun", id)
 	}
 }
 
-// TestNotRunIsRecognized guards against ignoring a not-run outcome reported by
-// the upstream, and against treating a connection error as an unknown outcome.
+// TestNotRunIsRecognized guards against ignoring the outcome not-run reported by
+// an upstream, and against treating a failure to connect as an unknown outcome.
 func TestNotRunIsRecognized(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, _ *http.Request) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nCamphorridge-Outcome: not-run\r\n\r\n")
@@ -171,7 +170,8 @@
 }
 
 // TestEarlierIncarnationIsRefused guards against sending a request for an
-// earlier incarnation to the current process, which may serve another pool.
+// earlier incarnation to the current process, which may serve another pool of
+// instances.
 func TestEarlierIncarnationIsRefused(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool { return respondOK(c, r) }))
 	cl := newClient(t)
--- a/io/trans/uplink/body.go
+++ b/io/trans/uplink/body.go
@@ -8,15 +8,15 @@
 	"camphorridge/core/state/clock"
 )
 
-// responseBody is the body of a response. At the end of the body it hands the
-// connection back to the pool. It is used by one goroutine.
+// responseBody is the body of a response. At the end of the body it returns the
+// connection to the pool. It must be used by only one goroutine at a time.
 type responseBody struct {
 	inner   io.ReadCloser
 	conn    *conn
 	client  *Client
 	ctx     context.Context
 	started clock.Millis
-	// released is true once the connection was handed back or closed.
+	// released is true once the connection was returned to the pool or closed.
 	released bool
 }
 
--- a/io/trans/uplink/client.go
+++ b/io/trans/uplink/client.go
@@ -27,13 +27,13 @@
 }
 
 // Do sends a request to an upstream at most once and returns its response. The
-// caller must read the body of the response to its end or close it. Without a
-// response the error is an *Error, and the Result says whether the request may
-// have run.
+// caller must read the body of the response to its end or close it. If there is
+// no response, the error is an *Error, and the Result says whether the request
+// may have run.
 //
-// If a reused connection turns out to be closed and no byte was written, Do
-// makes one more attempt on a new connection. It does so only for requests
-// without a body or with GetBody.
+// If a reused connection turns out to be closed before a byte of the request was
+// written, Do makes a second attempt on a new connection, provided that the
+// request has no body or has GetBody.
 func (cl *Client) Do(ctx context.Context, up Upstream, req *http.Request) (*http.Response, Result, error) {
 	cl.counts.requests.Add(1)
 	p := cl.pool(up.Name)
@@ -71,8 +71,7 @@
 	return p
 }
 
-// attempt sends a request on one connection, which is a new one if newConn is
-// set.
+// attempt sends a request on one connection; on a new one if newConn is set.
 func (cl *Client) attempt(ctx context.Context, p *pool, up Upstream, req *http.Request, newConn bool) (*http.Response, Result, error) {
 	started := cl.clk.Now()
 	c, err := p.acquire(ctx, up, newConn)
@@ -88,7 +87,7 @@
 	}
 	res := Result{Reused: c.requests > 0}
 	c.requests++
-	resp, err := c.tr.RoundTrip(upstreamRequest(ctx, up, req))
+	resp, err := c.transport.RoundTrip(upstreamRequest(ctx, up, req))
 	if err != nil {
 		res.BytesWritten = c.blockWrites()
 		_ = c.Close()
@@ -115,10 +114,11 @@
 	return resp, res, nil
 }
 
-// classifyFailure returns the kind of a failed request. If a written request
-// got no response before its deadline, it also closes the connections that
-// have been idle since before the request started, because a middlebox that
-// dropped its state for one connection has often dropped it for all.
+// classifyFailure returns the kind of a failed request. If the request was
+// written but had no complete response at its deadline, classifyFailure also
+// closes the connections that have been idle since before the request started,
+// because a middlebox that dropped its state for one connection has often
+// dropped it for all.
 func (cl *Client) classifyFailure(ctx context.Context, p *pool, started clock.Millis, written bool) Kind {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -142,11 +142,11 @@
 	}
 }
 
-// checkResponse returns an error if a response must not be forwarded. echoes
-// is whether an earlier response on the connection echoed the ID of its
-// request; checkResponse updates it. Once it is set, a response without an ID
-// is treated as a late response to another request, because nothing else
-// would distinguish the two.
+// checkResponse returns an error if a response must not be forwarded. *echoes
+// says whether an earlier response on the connection echoed the ID of its
+// request; checkResponse updates it. Once it is true, a response without an ID
+// is refused too, because nothing else would distinguish it from a late response
+// to another request.
 func checkResponse(req *http.Request, resp *http.Response, echoes *bool) *Error {
 	if resp.StatusCode < 200 {
 		return newError("response", KindFraming, "unexpected status code %d; want a final response (200 or above)", resp.StatusCode)
@@ -163,9 +163,9 @@
 	return nil
 }
 
-// upstreamRequest returns the request to send to the upstream: without
-// hop-by-hop headers, and without GetBody, so that net/http cannot send the
-// body a second time.
+// upstreamRequest returns the request to send to the upstream. It has no
+// hop-by-hop headers, and no GetBody, so that net/http cannot send the body a
+// second time.
 func upstreamRequest(ctx context.Context, up Upstream, req *http.Request) *http.Request {
 	out := (&http.Request{
 		Method:        req.Method,
@@ -193,8 +193,8 @@
 	return out
 }
 
-// Close closes the idle connections to an upstream and reports whether no
-// connection to it is left open. Connections that carry a request stay open.
+// Close closes the idle connections to an upstream. Connections that carry a
+// request stay open. Close returns true if no connection is left open.
 func (cl *Client) Close(name string) bool {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/io/trans/uplink/client_test.go
+++ b/io/trans/uplink/client_test.go
@@ -19,8 +19,8 @@
 )
 
 // TestUntrustedResponsesAreErrors guards against forwarding a malformed,
-// mismatched or truncated response. The request may have run, but the caller
-// must not get the response.
+// mismatched or truncated response, and against NotRun for its request, which may
+// have run.
 func TestUntrustedResponsesAreErrors(t *testing.T) {
 	for _, c := range []struct {
 		name, response string
@@ -32,9 +32,9 @@
 		{"upgrade", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", KindFraming},
 		{"not HTTP", "nonsense\r\n\r\n", KindClosed},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", KindClosed},
-		{"cut header", "HTTP/1.1 200 OK\r\nContent-Le", KindClosed},
-		{"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", KindTruncated},
-		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", KindTruncated},
+		{"truncated header", "HTTP/1.1 200 OK\r\nContent-Le", KindClosed},
+		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", KindTruncated},
+		{"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", KindTruncated},
 		{"missing last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", KindTruncated},
 	} {
 		u := newScriptedUpstream(t, respondWith(func(_ int, conn net.Conn, _ *http.Request) bool {
@@ -56,7 +56,7 @@
 	if ok {
 		return poll.Success()
 	}
-	return poll.Continue("not yet")
+	return poll.Continue("the condition is not met yet")
 }
 
 // TestUnsolicitedBytesReachNoRequest guards against surplus bytes after a
@@ -85,8 +85,8 @@
 			} else {
 				assert.Assert(t, !res.NotRun || u.arrivals(id) == 0)
 			}
-			// Together with the delay in the upstream, surplus bytes arrive
-			// before, during and after the next request.
+			// With this pause and the delay in the upstream, the surplus bytes
+			// arrive before, during and after the next request.
 			time.Sleep(delay)
 		}
 	}
@@ -111,8 +111,9 @@
 	assert.Equal(t, body, "<next>")
 }
 
-// TestTimeoutClosesIdleConnections guards against request after request timing
-// out on idle connections for which a middlebox has dropped its state.
+// TestTimeoutClosesIdleConnections guards against a series of requests that time
+// out, one on each idle connection, after a middlebox has dropped its state for
+// all of them.
 func TestTimeoutClosesIdleConnections(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool {
 		time.Sleep(20 * time.Millisecond)
@@ -131,7 +132,7 @@
 	}
 	wg.Wait()
 	poll.WaitOn(t, func(poll.LogT) poll.Result { return pollResult(idleConns(cl) == 4) })
-	r.silence()
+	r.dropTraffic()
 	_, res, err := call(t, cl, up, request(t, "GET", "<silent>", ""), 100*time.Millisecond)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, res.Kind, KindTimeout)
@@ -175,9 +176,9 @@
 	assert.Assert(t, u.maxOpenConns <= 4, "%d connections were open", u.maxOpenConns)
 }
 
-// TestIdleConnectionsAreProbedAndClosed guards against idle connections that
-// are never probed, that are closed although they work, or that are never
-// closed.
+// TestIdleConnectionsAreProbedAndClosed guards against idle connections that are
+// never probed, that are closed although they work, or that are never closed,
+// and against unused pools that are never dropped.
 func TestIdleConnectionsAreProbedAndClosed(t *testing.T) {
 	var mu sync.Mutex
 	probes := 0
@@ -218,7 +219,7 @@
 	assert.Equal(t, cl.OpenConnections("ia"), 0)
 
 	openIdle()
-	rel.silence()
+	rel.dropTraffic()
 	fake.Advance(clock.Second)
 	cl.maintainIdle(cl.pool("ia"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result { return pollResult(cl.Counts().ProbesFailed == 1) })
@@ -250,8 +251,8 @@
 	assert.Equal(t, resp.Header.Get("X-Hop")+resp.Header.Get("Keep-Alive"), "")
 }
 
-// TestCancelClosesOneConnection guards against a cancelled request closing more
-// than its own connection.
+// TestCancelClosesOneConnection guards against a cancelled request that closes
+// more connections than its own.
 func TestCancelClosesOneConnection(t *testing.T) {
 	hang := make(chan struct{})
 	u := newScriptedUpstream(t, func(n int, c net.Conn) {
@@ -280,9 +281,9 @@
 	assert.Equal(t, cl.OpenConnections("ia"), 1)
 }
 
-// TestWriteDeadlineAndClose guards against a request being written after its
-// WriteDeadline, which is the end of a loan, and against connections that stay
-// open after Close, which is called when the loan is returned.
+// TestWriteDeadlineAndClose guards against a request that is written after its
+// WriteDeadline, which is the end of a loan of slots, and against connections that
+// stay open after Close, which is called before the loan is returned.
 func TestWriteDeadlineAndClose(t *testing.T) {
 	u := newScriptedUpstream(t, respondWith(func(_ int, c net.Conn, r *http.Request) bool { return respondOK(c, r) }))
 	cl := newClient(t)
--- a/io/trans/uplink/guardedconn.go
+++ b/io/trans/uplink/guardedconn.go
@@ -15,130 +15,132 @@
 // was written and that can block further writes.
 //
 // net/http reads and writes in goroutines of its own, so an error from its
-// transport does not say whether the request was written or may still be.
-// blockWrites does: once it has returned false, no byte of the request is ever
-// written.
+// transport does not say whether the request was written or may be written
+// later. blockWrites does: once it has returned false, no byte of the request
+// was or will be written.
 type guardedConn struct {
 	net.Conn
 	mu sync.Mutex
 	// written is true once a write of the current request has started.
 	written bool
-	// writesBlocked is true once nothing may be written any more.
+	// writesBlocked is true once no more bytes may be written.
 	writesBlocked bool
 	// pastDeadline reports whether the write deadline of the current request
 	// has passed; nil without a deadline.
 	pastDeadline func() bool
 	// unsolicited is true once bytes arrived while no response was expected:
-	// before a request was written, or after its response had ended.
+	// before the current request was written, or after the end of its
+	// response.
 	unsolicited bool
-	// reading is true while net/http waits for bytes. Its read buffer is
-	// empty then, so no leftover bytes of the last response can be taken for
-	// the response to the next request.
+	// reading is true while net/http is in Read. The read buffer of net/http
+	// is empty then, so it holds no surplus bytes after the last response that
+	// could be taken for the response to the next request.
 	reading bool
-	// responseRead is true once the last response was read to its end.
+	// responseRead is true once the response to the current request was read
+	// to its end.
 	responseRead bool
 	closed       bool
 	// onSettled is called once after each response, when responseRead and
 	// reading are both true. onClosed is called once, when the connection is
-	// closed. Both are called without holding mu.
+	// closed. mu is not held during either call.
 	onSettled, onClosed func()
 }
 
 // beginRequest resets the state for the next request. It returns false if the
-// connection cannot carry one.
-func (s *guardedConn) beginRequest() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.writesBlocked || s.closed || s.unsolicited {
+// connection cannot carry another request.
+func (g *guardedConn) beginRequest() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.writesBlocked || g.closed || g.unsolicited {
 		return false
 	}
-	s.written, s.responseRead, s.pastDeadline = false, false, nil
+	g.written, g.responseRead, g.pastDeadline = false, false, nil
 	return true
 }
 
-// blockWritesWhen blocks the writes of the current request once pastDeadline
+// blockWritesWhen makes writes of the current request fail once pastDeadline
 // returns true.
-func (s *guardedConn) blockWritesWhen(pastDeadline func() bool) {
-	s.mu.Lock()
-	s.pastDeadline = pastDeadline
-	s.mu.Unlock()
+func (g *guardedConn) blockWritesWhen(pastDeadline func() bool) {
+	g.mu.Lock()
+	g.pastDeadline = pastDeadline
+	g.mu.Unlock()
 }
 
 // markResponseRead records that the response was read to its end.
-func (s *guardedConn) markResponseRead() {
-	s.mu.Lock()
-	s.responseRead = true
-	ready := s.reading && !s.writesBlocked && !s.closed
-	s.mu.Unlock()
+func (g *guardedConn) markResponseRead() {
+	g.mu.Lock()
+	g.responseRead = true
+	ready := g.reading && !g.writesBlocked && !g.closed
+	g.mu.Unlock()
 	if ready {
-		s.onSettled()
+		g.onSettled()
 	}
 }
 
 // blockWrites blocks further writes and reports whether a byte of the current
 // request may have been written.
-func (s *guardedConn) blockWrites() (written bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.writesBlocked = true
-	return s.written
+func (g *guardedConn) blockWrites() (written bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.writesBlocked = true
+	return g.written
 }
 
 // Write implements net.Conn. It fails with errWritesBlocked once writes are
 // blocked.
-func (s *guardedConn) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	if s.pastDeadline != nil && s.pastDeadline() {
-		s.writesBlocked = true
+func (g *guardedConn) Write(p []byte) (int, error) {
+	g.mu.Lock()
+	if g.pastDeadline != nil && g.pastDeadline() {
+		g.writesBlocked = true
 	}
-	if s.writesBlocked {
-		s.mu.Unlock()
+	if g.writesBlocked {
+		g.mu.Unlock()
 		return 0, errWritesBlocked
 	}
-	s.written = true
-	s.mu.Unlock()
-	return s.Conn.Write(p)
+	g.written = true
+	g.mu.Unlock()
+	return g.Conn.Write(p)
 }
 
-// Read implements net.Conn. Bytes that arrive while no response is expected
-// are dropped with errUnsolicited, and writes are blocked.
-func (s *guardedConn) Read(p []byte) (int, error) {
-	s.mu.Lock()
-	s.reading = true
-	ready := s.responseRead && !s.writesBlocked && !s.closed
-	s.mu.Unlock()
+// Read implements net.Conn. If bytes arrive while no response is expected, it
+// discards them, blocks writes and returns errUnsolicited.
+func (g *guardedConn) Read(p []byte) (int, error) {
+	g.mu.Lock()
+	g.reading = true
+	ready := g.responseRead && !g.writesBlocked && !g.closed
+	g.mu.Unlock()
 	if ready {
-		s.onSettled()
+		g.onSettled()
 	}
-	n, err := s.Conn.Read(p)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reading = false
-	if n > 0 && (s.responseRead || !s.written) {
-		s.unsolicited, s.writesBlocked = true, true
+	n, err := g.Conn.Read(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reading = false
+	if n > 0 && (g.responseRead || !g.written) {
+		g.unsolicited, g.writesBlocked = true, true
 		return 0, errUnsolicited
 	}
 	return n, err
 }
 
 // Close implements net.Conn.
-func (s *guardedConn) Close() error {
-	s.mu.Lock()
-	first := !s.closed
-	s.closed, s.writesBlocked = true, true
-	s.mu.Unlock()
+func (g *guardedConn) Close() error {
+	g.mu.Lock()
+	first := !g.closed
+	g.closed, g.writesBlocked = true, true
+	g.mu.Unlock()
 	if !first {
 		return nil
 	}
-	err := s.Conn.Close()
-	s.onClosed()
+	err := g.Conn.Close()
+	g.onClosed()
 	return err
 }
 
 // sawUnsolicited reports whether bytes arrived while no response was
 // expected.
-func (s *guardedConn) sawUnsolicited() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.unsolicited
+func (g *guardedConn) sawUnsolicited() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unsolicited
 }
--- a/io/trans/uplink/header.go
+++ b/io/trans/uplink/header.go
@@ -7,7 +7,7 @@
 )
 
 // hopByHop lists the headers that apply to a single connection (RFC 9110,
-// section 7.6.1), and the older names for them.
+// section 7.6.1, and the older RFC 2616, section 13.5.1).
 var hopByHop = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/io/trans/uplink/helpers_test.go
+++ b/io/trans/uplink/helpers_test.go
@@ -20,7 +20,7 @@
 )
 
 // scriptedUpstream is an upstream that records every byte it receives and whose
-// responses are given byte by byte.
+// responses a test writes as raw bytes.
 type scriptedUpstream struct {
 	listener net.Listener
 	mu       sync.Mutex
@@ -87,7 +87,7 @@
 	return n, err
 }
 
-// arrivals counts how often a request ID arrived, over all connections.
+// arrivals returns how often a request ID arrived, over all connections.
 func (u *scriptedUpstream) arrivals(id string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -102,8 +102,9 @@
 	return Upstream{Name: "ia", Address: u.listener.Addr().String(), Incarnation: 1, MaxConnections: 8}
 }
 
-// respondWith returns a connection handler that answers each request with write,
-// until write returns false. k counts the requests from 0.
+// respondWith returns a connection handler that calls write to answer each
+// request, until write returns false. k counts the requests of a connection
+// from 0.
 func respondWith(write func(k int, c net.Conn, r *http.Request) bool) func(int, net.Conn) {
 	return func(_ int, c net.Conn) {
 		in := bufio.NewReader(c)
@@ -145,8 +146,8 @@
 	return r
 }
 
-// call sends a request with the given timeout and returns the body of its
-// response.
+// call sends a request with the given timeout, reads the response and returns its
+// body.
 func call(t testing.TB, cl *Client, up Upstream, r *http.Request, timeout time.Duration) (string, Result, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
@@ -173,20 +174,21 @@
 // relay forwards TCP connections to a target and can silently drop their
 // traffic without closing them.
 type relay struct {
-	listener net.Listener
-	mu       sync.Mutex
-	switches []*muteSwitch
-	conns    []net.Conn
+	listener   net.Listener
+	mu         sync.Mutex
+	forwarders []*forwarder
+	conns      []net.Conn
 }
 
-// muteSwitch makes one connection drop its traffic.
-type muteSwitch struct{ on atomic.Bool }
+// forwarder copies the traffic of one connection, in both directions. While
+// dropping is set, it discards what it reads.
+type forwarder struct{ dropping atomic.Bool }
 
-func (m *muteSwitch) forward(to io.Writer, from io.ReadCloser) {
+func (f *forwarder) forward(to io.Writer, from io.ReadCloser) {
 	buf := make([]byte, 4096)
 	for {
 		n, err := from.Read(buf)
-		if m.on.Load() && err == nil {
+		if f.dropping.Load() && err == nil {
 			continue
 		}
 		if err == nil {
@@ -202,13 +204,13 @@
 	}
 }
 
-// silence makes all current connections drop everything from now on; later
-// connections work.
-func (r *relay) silence() {
+// dropTraffic drops all further traffic of the current connections without
+// closing them. Connections opened later work.
+func (r *relay) dropTraffic() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range r.switches {
-		m.on.Store(true)
+	for _, m := range r.forwarders {
+		m.dropping.Store(true)
 	}
 }
 
@@ -229,13 +231,13 @@
 				_ = in.Close()
 				continue
 			}
-			muted := &muteSwitch{}
+			fwd := &forwarder{}
 			r.mu.Lock()
 			r.conns = append(r.conns, in, out)
-			r.switches = append(r.switches, muted)
+			r.forwarders = append(r.forwarders, fwd)
 			r.mu.Unlock()
-			wg.Go(func() { muted.forward(out, in) })
-			wg.Go(func() { muted.forward(in, out) })
+			wg.Go(func() { fwd.forward(out, in) })
+			wg.Go(func() { fwd.forward(in, out) })
 		}
 	})
 	t.Cleanup(func() {
--- a/io/trans/uplink/maintain.go
+++ b/io/trans/uplink/maintain.go
@@ -11,8 +11,8 @@
 // maintainInterval is the interval between two checks of the idle connections.
 const maintainInterval clock.Millis = 250
 
-// Run probes and closes idle connections at regular intervals. It returns nil
-// after Stop.
+// Run checks the idle connections every maintainInterval, and probes or closes
+// those that are due. It returns nil after Stop.
 func (cl *Client) Run() error {
 	for {
 		select {
@@ -27,8 +27,8 @@
 	}
 }
 
-// Stop makes Run return and closes the idle connections. Requests in flight
-// continue.
+// Stop makes Run return and closes the idle connections. It does not interrupt
+// requests in flight.
 func (cl *Client) Stop() {
 	cl.stopOnce.Do(func() { close(cl.done) })
 	for _, p := range cl.allPools() {
@@ -69,13 +69,13 @@
 // ProbeAfterIdle.
 func (cl *Client) maintainIdle(p *pool) {
 	now := cl.clk.Now()
-	var old, due []*conn
+	var expired, due []*conn
 	p.mu.Lock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		switch {
 		case now-c.lastRequest >= cl.cfg.IdleTimeout:
-			old = append(old, c)
+			expired = append(expired, c)
 		case p.up.HealthPath != "" && now-c.lastResponse >= cl.cfg.ProbeAfterIdle:
 			c.probing = true
 			due = append(due, c)
@@ -87,18 +87,18 @@
 	p.idle = kept
 	up := p.up
 	p.mu.Unlock()
-	closeAll(old)
+	closeAll(expired)
 	for _, c := range due {
-		// One short-lived goroutine for each connection, so that an
-		// unresponsive one does not delay the others.
+		// Each probe has its own short-lived goroutine, so that an
+		// unresponsive connection does not delay the other probes.
 		go cl.probe(p, c, up)
 	}
 }
 
-// probe requests the health path on an idle connection. Any complete response,
-// whatever its status code, shows that the connection works. If the probe
-// fails, probe closes the connection and all that have been idle since before
-// it.
+// probe requests the health path on an idle connection. A complete, valid
+// response shows that the connection works, whatever its status code. Without
+// one, probe closes the connection and all others that have been idle since
+// before the probe started.
 func (cl *Client) probe(p *pool, c *conn, up Upstream) {
 	cl.counts.probes.Add(1)
 	started := cl.clk.Now()
@@ -119,7 +119,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := c.tr.RoundTrip(upstreamRequest(ctx, up, req))
+	resp, err := c.transport.RoundTrip(upstreamRequest(ctx, up, req))
 	if err != nil {
 		return false
 	}
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -11,28 +11,29 @@
 	"camphorridge/core/state/clock"
 )
 
-// maxSettleWait bounds the wait for a connection whose response was just read
-// but that net/http is not done with yet, which usually takes microseconds.
+// maxSettleWait bounds the time for which acquire waits for a connection that is
+// settling, which usually takes microseconds; see conn.settling.
 const maxSettleWait clock.Millis = 2
 
 // conn is one connection, with the http.Transport that uses it.
 type conn struct {
 	*guardedConn
-	tr          *http.Transport
+	transport   *http.Transport
 	pool        *pool
 	incarnation uint64
 	// lastResponse is the time of the last response, including those to
 	// probes; lastRequest is the end of the last request other than a probe.
 	// Both start as the time at which the connection was opened.
 	lastResponse, lastRequest clock.Millis
-	// settling is true from the end of a response until net/http waits for
-	// the next one; guarded by pool.mu.
+	// settling is true from the end of a response until net/http reads from
+	// the connection again, when it can carry the next request; guarded by
+	// pool.mu.
 	settling bool
 	// probing is true while the connection carries a probe; guarded by
 	// pool.mu.
 	probing bool
-	// requests is the number of requests that the connection has carried,
-	// without probes.
+	// requests is the number of requests that the connection has carried, not
+	// counting probes.
 	requests int
 	// echoesID is true once a response echoed the ID of its request.
 	echoesID bool
@@ -46,8 +47,9 @@
 
 	mu sync.Mutex
 	up Upstream
-	// open is the number of connections, including those being opened; at
-	// most up.MaxConnections.
+	// open is the number of connections, including those that are being
+	// opened. It exceeds up.MaxConnections only while an idle connection is
+	// replaced, or after the limit was lowered.
 	open int
 	// idle is a stack: the connection used last is reused first, so that
 	// surplus connections reach the idle timeout and are closed.
@@ -76,9 +78,9 @@
 	stepFull
 )
 
-// acquire returns a connection that is ready for a request; a newly opened one
-// if newConn is set. The error is an *Error of KindConnect, KindPoolFull or
-// KindCancelled, and nothing was written then.
+// acquire returns a connection that is ready for a request; a new one if newConn
+// is set. On an error, nothing was written; the error is an *Error of
+// KindConnect, KindPoolFull or KindCancelled.
 func (p *pool) acquire(ctx context.Context, up Upstream, newConn bool) (*conn, error) {
 	if err := p.updateUpstream(up); err != nil {
 		return nil, err
@@ -107,15 +109,15 @@
 }
 
 // nextStep decides how to get a connection. With stepUseIdle it returns an idle
-// connection. With stepOpen the new connection is already counted in p.open,
-// and a connection returned with it must be closed before the new one is
+// connection. With stepOpen it has already counted the new connection in p.open;
+// if it also returns a connection, that one must be closed before the new one is
 // opened.
 func (p *pool) nextStep(newConn, mayWait bool) (*conn, step) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 && !newConn {
-		// A connection that refuses a request is being closed, and
-		// handleClosed subtracts it from p.open.
+		// A connection whose beginRequest returns false is closed or about
+		// to be closed, and handleClosed subtracts it from p.open.
 		if c := p.popIdle(); c.beginRequest() {
 			return c, stepUseIdle
 		}
@@ -141,6 +143,7 @@
 	return c
 }
 
+// unreserve subtracts from p.open a connection that could not be opened.
 func (p *pool) unreserve() {
 	p.mu.Lock()
 	p.open--
@@ -148,6 +151,7 @@
 	p.signal()
 }
 
+// signal wakes one waiting call of acquire.
 func (p *pool) signal() {
 	select {
 	case p.changed <- struct{}{}:
@@ -155,10 +159,10 @@
 	}
 }
 
-// updateUpstream records the current address and limits of the upstream and the
-// time of the request. It closes idle connections to an earlier incarnation or
-// address. A request for an earlier incarnation is refused, because the current
-// process may serve another pool.
+// updateUpstream records the time of the request and the current address and
+// limits of the upstream, and closes idle connections to an earlier incarnation
+// or address. It refuses a request for an earlier incarnation, because the
+// restarted process may serve another pool of instances.
 func (p *pool) updateUpstream(up Upstream) error {
 	p.mu.Lock()
 	p.lastRequest = p.clk.Now()
@@ -170,13 +174,13 @@
 		p.mu.Unlock()
 		return newError("take", KindConnect, "connections to incarnation %d of %s were closed because the upstream restarted or was removed", up.Incarnation, up.Name)
 	}
-	var old []*conn
+	var outdated []*conn
 	if up.Incarnation != p.up.Incarnation || up.Address != p.up.Address {
-		old, p.idle = p.idle, nil
+		outdated, p.idle = p.idle, nil
 	}
 	p.up = up
 	p.mu.Unlock()
-	closeAll(old)
+	closeAll(outdated)
 	return nil
 }
 
@@ -202,22 +206,22 @@
 	now := p.clk.Now()
 	c := &conn{pool: p, incarnation: up.Incarnation, lastResponse: now, lastRequest: now}
 	c.guardedConn = &guardedConn{Conn: raw, onSettled: c.handleSettled, onClosed: c.handleClosed}
-	c.tr = transport(c.guardedConn, p.cfg)
+	c.transport = newTransport(c.guardedConn, p.cfg)
 	c.beginRequest()
 	return c, nil
 }
 
-// transport returns a transport that uses only this connection and cannot open
+// newTransport returns a transport that uses only connection c and cannot open
 // another. A retry by net/http itself therefore fails before anything is
 // written.
-func transport(s *guardedConn, cfg Settings) *http.Transport {
+func newTransport(c *guardedConn, cfg Settings) *http.Transport {
 	var used atomic.Bool
 	return &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used.Swap(true) {
 				return nil, errWritesBlocked
 			}
-			return s, nil
+			return c, nil
 		},
 		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 		DisableCompression:     true,
@@ -227,8 +231,8 @@
 	}
 }
 
-// handleSettled returns the connection to the idle list after a response, or
-// closes it if the upstream has restarted.
+// handleSettled makes the connection idle after a response, or closes it if the
+// upstream has restarted since it was opened.
 func (c *conn) handleSettled() {
 	p := c.pool
 	now := p.clk.Now()
@@ -275,13 +279,13 @@
 	if c.sawUnsolicited() {
 		p.counts.unsolicited.Add(1)
 	}
-	// The transport needs no closing: it holds nothing but the closed
+	// The transport need not be closed: its only resource is the closed
 	// connection.
 	p.signal()
 }
 
-// finishResponse marks the response as read to its end. The connection becomes
-// idle as soon as net/http waits for the next response.
+// finishResponse records that the response was read to its end. The connection
+// becomes idle as soon as net/http reads from it again.
 func (c *conn) finishResponse() {
 	p := c.pool
 	p.mu.Lock()
@@ -291,8 +295,8 @@
 	c.markResponseRead()
 }
 
-// closeIdle closes the idle connections without a response after the given time
-// and returns their number.
+// closeIdle closes the idle connections that received no response after the
+// given time, and returns their number.
 func (p *pool) closeIdle(since clock.Millis) int {
 	p.mu.Lock()
 	var old []*conn
