Reword the comments of logs

Read badly: what admit decides and takes, budgetBytes (may still take), zones that could be time zones, and a log that an invalid level silences.

Now: the token bucket is named, admit says what is queued, zones are availability zones. Comments only.

--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -11,14 +11,14 @@
 	"camphorridge/core/state/ring"
 )
 
-// The limits of the log. If the reader of the log stops reading, lines are
-// dropped; the process never blocks.
+// The limits of an AsyncWriter. If the reader of the log stops reading, lines are
+// dropped instead of blocking the process.
 const (
-	// ringLines is the number of lines that may wait to be written.
+	// ringLines is the maximum number of queued lines.
 	ringLines = 4096
 	// infoBytesPerSecond and infoBurstBytes are the rate and the burst of the
 	// token bucket for lines of level info. Lines of other levels are limited
-	// by the ring only.
+	// only by ringLines.
 	infoBytesPerSecond = 64 << 10
 	infoBurstBytes     = 256 << 10
 	// reportInterval is the minimum time between two reports of dropped lines.
@@ -27,8 +27,9 @@
 
 var infoLevelField = []byte("level=info")
 
-// AsyncWriter is an io.Writer that never blocks: one goroutine writes the lines to
-// the underlying writer, and lines beyond the limits are dropped and counted.
+// AsyncWriter is an io.Writer that never blocks: it queues lines, which a
+// goroutine writes to the underlying writer. Lines beyond the limits are dropped
+// and counted.
 type AsyncWriter struct {
 	out       io.Writer
 	clock     clock.Clock
@@ -39,18 +40,19 @@
 	closeOnce sync.Once
 
 	mu sync.Mutex
-	// budgetBytes is what lines of level info may still take, as of
-	// refilledAt.
+	// budgetBytes is the number of bytes in the token bucket at refilledAt.
 	budgetBytes int
 	refilledAt  clock.Millis
 
-	// reported is the number of dropped lines in the last report, written at
-	// reportedAt. Both are used only by the goroutine of run.
+	// reported is the number of dropped lines in the last report, and
+	// reportedAt the time of that report. Both are used only by the goroutine
+	// of run.
 	reported   int64
 	reportedAt clock.Millis
 }
 
-// NewAsyncWriter returns a writer to out and starts its goroutine, which Close stops.
+// NewAsyncWriter returns a writer to out and starts its goroutine, which Close
+// stops.
 func NewAsyncWriter(out io.Writer, c clock.Clock) *AsyncWriter {
 	a := &AsyncWriter{
 		out: out, clock: c, lines: ring.New[[]byte](ringLines), budgetBytes: infoBurstBytes, refilledAt: c.Now(),
@@ -60,7 +62,8 @@
 	return a
 }
 
-// Write queues one line. It never fails; a line beyond the limits is dropped.
+// Write queues one line, or drops it if it is beyond the limits. It never returns
+// an error.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	if !a.admit(line) || !a.lines.TryPut(bytes.Clone(line)) {
 		a.dropped.Add(1)
@@ -68,8 +71,9 @@
 	return len(line), nil
 }
 
-// admit reports whether a line is within the budget for level info. Lines of
-// other levels always are.
+// admit reports whether a line may be queued. A line of level info must fit the
+// token bucket, from which its length is subtracted; lines of other levels are
+// always admitted.
 func (a *AsyncWriter) admit(line []byte) bool {
 	if !bytes.Contains(line, infoLevelField) {
 		return true
@@ -86,8 +90,8 @@
 	return true
 }
 
-// report writes the number of dropped lines if it has changed, at most once per
-// reportInterval.
+// report writes a line with the number of dropped lines if that has changed, at
+// most once per reportInterval.
 func (a *AsyncWriter) report() {
 	n, now := a.dropped.Load(), a.clock.Now()
 	if n == a.reported || now-a.reportedAt < reportInterval && a.reportedAt != 0 {
@@ -100,8 +104,8 @@
 // Dropped returns the number of dropped lines.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the queued lines and stops the goroutine. It waits for this for
-// at most one second.
+// Close makes the goroutine write the queued lines and return, and waits for that
+// for at most one second.
 func (a *AsyncWriter) Close() {
 	a.closeOnce.Do(func() { close(a.done) })
 	select {
@@ -126,8 +130,8 @@
 	}
 }
 
-// write writes a line and counts it as dropped on an error, so that the process
-// continues if the reader of the log is gone.
+// write writes a line. On an error it only counts the line as dropped, so that the
+// process continues if the reader of the log is gone.
 func (a *AsyncWriter) write(line []byte) {
 	if _, err := a.out.Write(line); err != nil {
 		a.dropped.Add(1)
--- a/io/trans/logs/async_test.go
+++ b/io/trans/logs/async_test.go
@@ -25,8 +25,8 @@
 	return b.written.Write(p)
 }
 
-// TestBlockedReader guards against a request that blocks because the reader of
-// the log has stopped reading. Lines are dropped and counted instead.
+// TestBlockedReader guards against requests that block because the reader of the
+// log has stopped reading. Lines must be dropped and counted instead.
 func TestBlockedReader(t *testing.T) {
 	out := &blockedWriter{unblock: make(chan struct{})}
 	a := NewAsyncWriter(out, clock.Real())
@@ -43,8 +43,8 @@
 	assert.Assert(t, strings.Contains(out.written.String(), "msg=log-lines-dropped"))
 }
 
-// TestInfoBudget guards against info lines whose volume grows with the load, and
-// against dropping warnings because of them.
+// TestInfoBudget guards against an unlimited volume of info lines under load, and
+// against warnings that are dropped because of them.
 func TestInfoBudget(t *testing.T) {
 	var out bytes.Buffer
 	fake := clock.NewFake(0)
--- a/io/trans/logs/logs.go
+++ b/io/trans/logs/logs.go
@@ -11,8 +11,8 @@
 	"camphorridge/core/state/model"
 )
 
-// timeFormat is RFC 3339 with milliseconds. Times are in UTC, so that the logs
-// of several zones can be merged.
+// timeFormat is RFC 3339 with milliseconds. Times are in UTC, so that the logs of
+// several availability zones can be merged.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
 // Kind classifies the errors of the package.
@@ -42,8 +42,8 @@
 	Zone    model.Zone
 }
 
-// levels holds the levels that the settings allow. The library has others, such
-// as fatal, that end the process.
+// levels maps the values of Settings.Level to the levels of the library. The
+// library has more levels, such as fatal; a line of that level ends the process.
 var levels = map[string]log.Level{
 	"debug": log.DebugLevel,
 	"info":  log.InfoLevel,
@@ -51,10 +51,10 @@
 	"error": log.ErrorLevel,
 }
 
-// New returns a logger that writes to w. Each line has the time of c, the level,
+// New returns a logger that writes to w. Each line has the time by c, the level,
 // and the process and its zone as a prefix. The format is logfmt, which keeps an
-// entry on one line whatever its values contain. An invalid level is a KindLevel
-// error.
+// entry on one line whatever its values contain. If the level is invalid, New
+// returns a KindLevel error.
 func New(w io.Writer, s Settings, c clock.Clock) (*log.Logger, error) {
 	level, ok := levels[s.Level]
 	if !ok {
@@ -70,8 +70,8 @@
 	}), nil
 }
 
-// eventLevels maps events that are state changes to their log levels. Events of
-// single requests are only counted, not logged.
+// eventLevels maps the kinds of events that are state changes to log levels.
+// Events of single requests are not logged, only counted.
 var eventLevels = map[model.EventKind]log.Level{
 	model.EventStart:             log.InfoLevel,
 	model.EventStop:              log.InfoLevel,
@@ -93,7 +93,7 @@
 	model.EventBorrowed:          log.InfoLevel,
 }
 
-// Event logs an event of the event log if it is a state change.
+// Event logs e if it is a state change.
 func Event(l *log.Logger, e model.Event) {
 	level, ok := eventLevels[e.Kind]
 	if !ok {
--- a/io/trans/logs/logs_test.go
+++ b/io/trans/logs/logs_test.go
@@ -28,8 +28,8 @@
 	golden.Assert(t, b.String(), "lines.txt")
 }
 
-// TestLevel guards against accepting an invalid level, which would silence the
-// log.
+// TestLevel guards against accepting an invalid level, such as fatal, with which
+// the log would stay empty.
 func TestLevel(t *testing.T) {
 	for _, level := range []string{"", "fatal", "INFO"} {
 		_, err := logs.New(&bytes.Buffer{}, logs.Settings{Level: level}, clock.Real())
