--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -108,9 +108,9 @@
 }
 
 // stream forwards a response that does not fit the buffer; buffered is the part
-// of its body that was already read. If the response ends early, stream panics
-// with http.ErrAbortHandler to abort the caller's connection, so that the caller
-// notices the truncation.
+// of its body that was already read. If the response cannot be forwarded to its
+// end, stream panics with http.ErrAbortHandler to abort the caller's connection,
+// so that the caller notices the truncation.
 func (f *Handler[D, C]) stream(x *exchange, resp *http.Response, notRun bool, buffered []byte, body *attemptBody, releaseGrant func(entry.Outcome)) attemptResult {
 	outcome := entry.OutcomeUnknown
 	defer func() {
