--- a/io/trans/front/parse.go
+++ b/io/trans/front/parse.go
@@ -81,8 +81,8 @@
 	return keys[0], nil
 }
 
-// headerBytes returns the size of the header fields on the wire, including 4
-// bytes per field for the colon, the space and the line break.
+// headerBytes returns the size of the header fields as net/http counts it: on the
+// wire, with 4 bytes per field for the colon, the space and the line break.
 func headerBytes(h http.Header) int {
 	n := 0
 	for k, vs := range h {
