--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -11,14 +11,14 @@
 	"camphorridge/core/state/ring"
 )
 
-// The limits of the log. If the reader of the log stops reading, lines are
-// dropped; the process never blocks.
+// The limits of an AsyncWriter. If the reader of the log stops reading, lines are
+// dropped instead of blocking the process.
 const (
-	// ringLines is the number of lines that may wait to be written.
+	// ringLines is the maximum number of queued lines.
 	ringLines = 4096
 	// infoBytesPerSecond and infoBurstBytes are the rate and the burst of the
 	// token bucket for lines of level info. Lines of other levels are limited
-	// by the ring only.
+	// only by ringLines.
 	infoBytesPerSecond = 64 << 10
 	infoBurstBytes     = 256 << 10
 	// reportInterval is the minimum time between two reports of dropped lines.
@@ -27,9 +27,10 @@
 
 var infoLevelField = []byte("level=info")
 
-// Async is an io.Writer that never blocks: one goroutine writes the lines to
-// the underlying writer, and lines beyond the limits are dropped and counted.
-type Async struct {
+// AsyncWriter is an io.Writer that never blocks: it queues lines, which a
+// goroutine writes to the underlying writer. Lines beyond the limits are dropped
+// and counted.
+type AsyncWriter struct {
 	out       io.Writer
 	clock     clock.Clock
 	lines     *ring.Ring[[]byte]
@@ -39,20 +40,21 @@
 	closeOnce sync.Once
 
 	mu sync.Mutex
-	// budgetBytes is what lines of level info may still take, as of
-	// refilledAt.
+	// budgetBytes is the number of bytes in the token bucket at refilledAt.
 	budgetBytes int
 	refilledAt  clock.Millis
 
-	// reported is the number of dropped lines in the last report, written at
-	// reportedAt. Both are used only by the goroutine of run.
+	// reported is the number of dropped lines in the last report, and
+	// reportedAt the time of that report. Both are used only by the goroutine
+	// of run.
 	reported   int64
 	reportedAt clock.Millis
 }
 
-// NewAsync returns a writer to out and starts its goroutine, which Close stops.
-func NewAsync(out io.Writer, c clock.Clock) *Async {
-	a := &Async{
+// NewAsyncWriter returns a writer to out and starts its goroutine, which Close
+// stops.
+func NewAsyncWriter(out io.Writer, c clock.Clock) *AsyncWriter {
+	a := &AsyncWriter{
 		out: out, clock: c, lines: ring.New[[]byte](ringLines), budgetBytes: infoBurstBytes, refilledAt: c.Now(),
 		done: make(chan struct{}), finished: make(chan struct{}),
 	}
@@ -60,17 +62,19 @@
 	return a
 }
 
-// Write queues one line. It never fails; a line beyond the limits is dropped.
-func (a *Async) Write(line []byte) (int, error) {
+// Write queues one line, or drops it if it is beyond the limits. It never returns
+// an error.
+func (a *AsyncWriter) Write(line []byte) (int, error) {
 	if !a.admit(line) || !a.lines.TryPut(bytes.Clone(line)) {
 		a.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-// admit reports whether a line is within the budget for level info. Lines of
-// other levels always are.
-func (a *Async) admit(line []byte) bool {
+// admit reports whether a line may be queued. A line of level info must fit the
+// token bucket, from which its length is subtracted; lines of other levels are
+// always admitted.
+func (a *AsyncWriter) admit(line []byte) bool {
 	if !bytes.Contains(line, infoLevelField) {
 		return true
 	}
@@ -86,9 +90,9 @@
 	return true
 }
 
-// report writes the number of dropped lines if it has changed, at most once per
-// reportInterval.
-func (a *Async) report() {
+// report writes a line with the number of dropped lines if that has changed, at
+// most once per reportInterval.
+func (a *AsyncWriter) report() {
 	n, now := a.dropped.Load(), a.clock.Now()
 	if n == a.reported || now-a.reportedAt < reportInterval && a.reportedAt != 0 {
 		return
@@ -98,11 +102,11 @@
 }
 
 // Dropped returns the number of dropped lines.
-func (a *Async) Dropped() int64 { return a.dropped.Load() }
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the queued lines and stops the goroutine. It waits for this for
-// at most one second.
-func (a *Async) Close() {
+// Close makes the goroutine write the queued lines and return, and waits for that
+// for at most one second.
+func (a *AsyncWriter) Close() {
 	a.closeOnce.Do(func() { close(a.done) })
 	select {
 	case <-a.finished:
@@ -110,7 +114,7 @@
 	}
 }
 
-func (a *Async) run() {
+func (a *AsyncWriter) run() {
 	defer close(a.finished)
 	for {
 		select {
@@ -126,9 +130,9 @@
 	}
 }
 
-// write writes a line and counts it as dropped on an error, so that the process
-// continues if the reader of the log is gone.
-func (a *Async) write(line []byte) {
+// write writes a line. On an error it only counts the line as dropped, so that the
+// process continues if the reader of the log is gone.
+func (a *AsyncWriter) write(line []byte) {
 	if _, err := a.out.Write(line); err != nil {
 		a.dropped.Add(1)
 	}
