Rename exported names of trail, maint, route and limits that mislead

trail.Wave -> WaveProgress, trail.ReportTimeout -> SilentAfter (as in mover), maint.Observation.Drained -> ReleaseConfirmed, route.Router.Restored -> TakeRestored (it consumes), Upstream.BlockedRelease -> BlockedReleaseVersion, Upstream.OldRunning -> RunningOfEarlierGenerations, limits.Queue and the other names of limits -> NameQueue and so on; their values stay.

--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -241,7 +241,7 @@
 		d.router.SetAnnouncement(now, r.Announcement, false)
 		d.event(model.Event{Kind: model.EventUpstreamGone, Instance: r.Announcement.Instance, Pool: r.Announcement.Pool, Limit: "lease"})
 	}
-	d.restored = d.router.Restored(now, d.restored[:0])
+	d.restored = d.router.TakeRestored(now, d.restored[:0])
 	for _, u := range d.restored {
 		d.event(model.Event{Kind: model.EventRestored, Instance: u.Instance, Pool: u.Pool})
 	}
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -163,7 +163,7 @@
 func (m *Mover[G, P, C, J, A, S]) observeMaintenance() {
 	for _, id := range slices.Sorted(maps.Keys(m.inMaintenance)) {
 		i := m.table.Instances[id]
-		o := withLoad(m.observed[id], maint.Observation{Drained: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
+		o := withLoad(m.observed[id], maint.Observation{ReleaseConfirmed: len(m.registry.Unconfirmed(m.Entries, i.Zone, i.Version)) == 0})
 		if i.Phase == model.PhaseMaintenance {
 			l, live := m.registry.Live[id]
 			o.Restarted = live && l.Announcement.Incarnation > i.Incarnation &&
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -11,17 +11,17 @@
 // Name is the name of a limit.
 type Name string
 
-// The limits derived from a contract.
+// The names of the limits derived from a contract.
 const (
-	Concurrency    Name = "concurrency"
-	Queue          Name = "queue"
-	Retries        Name = "retries"
-	MaxUnavailable Name = "max-unavailable"
-	Budget         Name = "budget-ms"
-	Spare          Name = "spare"
-	MilliCores     Name = "milli-cores"
-	MemoryMiB      Name = "memory-mib"
-	Accelerators   Name = "accelerators"
+	NameConcurrency    Name = "concurrency"
+	NameQueue          Name = "queue"
+	NameRetries        Name = "retries"
+	NameMaxUnavailable Name = "max-unavailable"
+	NameBudget         Name = "budget-ms"
+	NameSpare          Name = "spare"
+	NameMilliCores     Name = "milli-cores"
+	NameMemoryMiB      Name = "memory-mib"
+	NameAccelerators   Name = "accelerators"
 )
 
 // Rule is the name of the rule by which a limit follows from its operands.
@@ -119,25 +119,25 @@
 // Derive returns all limits that follow from the contract.
 func Derive[P SlotsPolicy](policy P, c model.Contract, f Fleet) Set {
 	s := Set{Customer: c.Customer, Concurrency: concurrency(policy, c, f)}
-	s.Queue = requested(Queue, c.Queue)
+	s.Queue = requested(NameQueue, c.Queue)
 	s.Retries = Limit{
-		Name: Retries, Requested: int64(c.RetryPercent), Rule: RulePercent,
+		Name: NameRetries, Requested: int64(c.RetryPercent), Rule: RulePercent,
 		Value: s.Concurrency.Value * int64(c.RetryPercent) / 100,
 		Operands: []Operand{
 			{"concurrency", s.Concurrency.Value},
 			{"retry-percent", int64(c.RetryPercent)},
 		},
 	}
-	s.MaxUnavailable = requested(MaxUnavailable, c.MaxUnavailable)
+	s.MaxUnavailable = requested(NameMaxUnavailable, c.MaxUnavailable)
 	if all := int64(PromisedInstances(c) + c.Spare); s.MaxUnavailable.Value > all {
 		s.MaxUnavailable.Value, s.MaxUnavailable.Rule = all, RuleAllInstances
 		s.MaxUnavailable.Operands = append(s.MaxUnavailable.Operands, Operand{"instances", all})
 	}
 	s.Budget = outageBudget(c.BudgetMillis, c.WindowMillis)
-	s.Spare = requested(Spare, c.Spare)
-	s.MilliCores = requested(MilliCores, c.Quota.MilliCores)
-	s.MemoryMiB = requested(MemoryMiB, c.Quota.MemoryMiB)
-	s.Accelerators = requested(Accelerators, c.Quota.Accelerators)
+	s.Spare = requested(NameSpare, c.Spare)
+	s.MilliCores = requested(NameMilliCores, c.Quota.MilliCores)
+	s.MemoryMiB = requested(NameMemoryMiB, c.Quota.MemoryMiB)
+	s.Accelerators = requested(NameAccelerators, c.Quota.Accelerators)
 	return s
 }
 
@@ -163,7 +163,7 @@
 // milliseconds.
 func outageBudget(b, window clock.Millis) Limit {
 	l := Limit{
-		Name: Budget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
+		Name: NameBudget, Requested: int64(b), Value: int64(b), Rule: RuleRequested,
 		Operands: []Operand{{"budget-ms", int64(b)}, {"window-ms", int64(window)}},
 	}
 	if window == 0 {
@@ -176,9 +176,9 @@
 // instances if the contract requests none.
 func concurrency[P SlotsPolicy](policy P, c model.Contract, f Fleet) Limit {
 	if c.Concurrency > 0 {
-		return requested(Concurrency, c.Concurrency)
+		return requested(NameConcurrency, c.Concurrency)
 	}
-	l := Limit{Name: Concurrency, Rule: RuleSlots}
+	l := Limit{Name: NameConcurrency, Rule: RuleSlots}
 	for _, p := range c.Pools {
 		per := policy.PerInstance(slotsOf(f, p.Pool))
 		l.Value += int64(p.Instances) * int64(per)
--- a/core/state/limits/evaluate.go
+++ b/core/state/limits/evaluate.go
@@ -265,8 +265,8 @@
 			})
 		}
 	}
-	add(MilliCores, need.MilliCores, have.MilliCores)
-	add(MemoryMiB, need.MemoryMiB, have.MemoryMiB)
-	add(Accelerators, need.Accelerators, have.Accelerators)
+	add(NameMilliCores, need.MilliCores, have.MilliCores)
+	add(NameMemoryMiB, need.MemoryMiB, have.MemoryMiB)
+	add(NameAccelerators, need.Accelerators, have.Accelerators)
 	return out
 }
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -139,7 +139,7 @@
 				obs.Failures = obs.Calls / 4
 			}
 		}
-		obs.Drained, obs.Restarted, obs.Verified = false, false, false
+		obs.ReleaseConfirmed, obs.Restarted, obs.Verified = false, false, false
 		f.closeOutage(i.ID)
 	}
 	f.instances[i.ID], f.observations[i.ID] = i, obs
@@ -206,7 +206,7 @@
 		s := f.observations[id]
 		switch f.instances[id].Phase {
 		case model.PhaseReleasing:
-			s.Drained = true
+			s.ReleaseConfirmed = true
 		case model.PhaseMaintenance:
 			s.Restarted = true
 		}
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -47,8 +47,8 @@
 // Observation is the state of an instance as reported by entry processes and by
 // its own announcements.
 type Observation struct {
-	// Drained: every entry process of the zone confirmed the release.
-	Drained bool
+	// ReleaseConfirmed: every entry process of the zone confirmed the release.
+	ReleaseConfirmed bool
 	// Restarted: the instance has announced a higher incarnation since it was
 	// handed over to the platform.
 	Restarted bool
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -86,7 +86,7 @@
 		}
 		return StepReturn, reason
 	}
-	if !it.observation.Drained {
+	if !it.observation.ReleaseConfirmed {
 		return "", ""
 	}
 	return StepHandOver, "every entry process of zone " + string(it.inst.Zone) + " confirmed the release"
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -247,9 +247,9 @@
 		assert.Equal(t, r.Capacity(start, "p"), 24)
 		// After the ejection the upstream starts slowly.
 		back := start + ejectBase
-		assert.Equal(t, len(r.Restored(start, nil)), 0)
-		assert.Equal(t, len(r.Restored(back, nil)), 1)
-		assert.Equal(t, len(r.Restored(back, nil)), 0)
+		assert.Equal(t, len(r.TakeRestored(start, nil)), 0)
+		assert.Equal(t, len(r.TakeRestored(back, nil)), 1)
+		assert.Equal(t, len(r.TakeRestored(back, nil)), 0)
 		assert.Equal(t, r.Capacity(back, "p"), 25)
 		assert.Equal(t, r.Capacity(back+SlowStart, "p"), 32)
 
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -39,7 +39,7 @@
 	// that an earlier run of this process granted.
 	LoansUncertain bool
 	candidates     []Candidate
-	// ejectionsToReport lists the upstreams whose end of ejection Restored has not
+	// ejectionsToReport lists the upstreams whose end of ejection TakeRestored has not
 	// reported yet.
 	ejectionsToReport []*Upstream
 }
@@ -125,10 +125,10 @@
 // and lent slots block the confirmation of the release.
 func (r *Router[P]) release(u *Upstream, v model.Version) {
 	u.Generation++
-	u.OldRunning = u.Running
-	if u.OldRunning > 0 || u.Lent > 0 {
-		if u.BlockedRelease == 0 {
-			u.BlockedRelease = v
+	u.RunningOfEarlierGenerations = u.Running
+	if u.RunningOfEarlierGenerations > 0 || u.Lent > 0 {
+		if u.BlockedReleaseVersion == 0 {
+			u.BlockedReleaseVersion = v
 		}
 		r.blocked[u.Instance] = u
 	}
@@ -242,9 +242,9 @@
 	return Reservation{Upstream: chosen, Generation: chosen.Generation, Incarnation: chosen.Incarnation}, true
 }
 
-// Restored appends to buf the upstreams whose ejection has ended since the last
+// TakeRestored appends to buf the upstreams whose ejection has ended since the last
 // call.
-func (r *Router[P]) Restored(now clock.Millis, buf []*Upstream) []*Upstream {
+func (r *Router[P]) TakeRestored(now clock.Millis, buf []*Upstream) []*Upstream {
 	kept := r.ejectionsToReport[:0]
 	for _, u := range r.ejectionsToReport {
 		if u.Ejected(now) {
@@ -325,8 +325,8 @@
 func (r *Router[P]) End(now clock.Millis, res Reservation, o Outcome) (ejected bool) {
 	u := res.Upstream
 	u.Running--
-	if res.Generation != u.Generation && u.OldRunning > 0 {
-		u.OldRunning--
+	if res.Generation != u.Generation && u.RunningOfEarlierGenerations > 0 {
+		u.RunningOfEarlierGenerations--
 		r.unblock(u)
 	}
 	if res.Generation == u.Generation && res.Incarnation == u.Incarnation && u.Pool != "" {
@@ -339,8 +339,8 @@
 // unblock allows the blocked release of an upstream to be confirmed once no request
 // of an earlier generation and no loan uses the instance.
 func (r *Router[P]) unblock(u *Upstream) {
-	if u.OldRunning == 0 && u.Lent == 0 {
-		u.BlockedRelease = 0
+	if u.RunningOfEarlierGenerations == 0 && u.Lent == 0 {
+		u.BlockedReleaseVersion = 0
 		delete(r.blocked, u.Instance)
 	}
 }
@@ -355,7 +355,7 @@
 	}
 	v := r.Version
 	for _, u := range r.blocked {
-		v = min(v, u.BlockedRelease-1)
+		v = min(v, u.BlockedReleaseVersion-1)
 	}
 	return v
 }
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -53,12 +53,13 @@
 	Running int
 	// Generation grows each time the instance is released from a pool.
 	Generation uint32
-	// OldRunning is the number of requests in flight that belong to earlier
-	// generations.
-	OldRunning int
-	// BlockedRelease is the table version of the earliest release that cannot be
-	// confirmed yet because OldRunning or Lent is above 0; 0 if both are 0.
-	BlockedRelease model.Version
+	// RunningOfEarlierGenerations is the number of requests in flight that belong to
+	// earlier generations.
+	RunningOfEarlierGenerations int
+	// BlockedReleaseVersion is the table version of the earliest release that cannot
+	// be confirmed yet because RunningOfEarlierGenerations or Lent is above 0; 0 if
+	// both are 0.
+	BlockedReleaseVersion model.Version
 	// SlowStartFrom is the time at which slow start begins: when the upstream became
 	// routable, when its process restarted, or when its last ejection ends, whichever
 	// was set last.
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -69,7 +69,7 @@
 // release: to wait for its requests in flight or, if the process has stopped
 // reporting, to restart it.
 func releaseAdvice(state CurrentState, p ProcessState) Advice {
-	if p.LastReport == 0 || state.Now-p.LastReport > ReportTimeout {
+	if p.LastReport == 0 || state.Now-p.LastReport > SilentAfter {
 		return Advice{ActionRestartProcess, string(p.Name)}
 	}
 	return Advice{ActionWait, string(p.Name)}
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -12,9 +12,9 @@
 	// MaxEvents is the maximum number of events in each event list of an
 	// explanation; the newest are kept.
 	MaxEvents = 200
-	// ReportTimeout is the time without a report after which a process counts as
+	// SilentAfter is the time without a report after which a process counts as
 	// silent. Processes report once per second.
-	ReportTimeout = 3 * clock.Second
+	SilentAfter = 3 * clock.Second
 )
 
 // Subject is the type of object that an explanation is about.
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -23,7 +23,7 @@
 	// FinishedMaintenances is the number of finished maintenances of instances.
 	FinishedMaintenances int
 	// Waves lists the declared maintenances in the order of their names.
-	Waves []Wave
+	Waves []WaveProgress
 	// IdleInstances is the size of the buffer: the number of serving instances
 	// beyond the promised number.
 	IdleInstances int
@@ -40,8 +40,8 @@
 	Missing []model.Process
 }
 
-// Wave describes the progress of a declared maintenance.
-type Wave struct {
+// WaveProgress describes the progress of a declared maintenance.
+type WaveProgress struct {
 	Name string
 	// Maintained and Selected are the number of instances that have returned
 	// from the maintenance and the number of instances that it selects.
@@ -116,8 +116,8 @@
 
 // measureWave counts the instances that a declared maintenance selects and those
 // that have returned from it. Retired instances are not counted.
-func measureWave(state CurrentState, m model.Maintenance) Wave {
-	w := Wave{Name: m.Name}
+func measureWave(state CurrentState, m model.Maintenance) WaveProgress {
+	w := WaveProgress{Name: m.Name}
 	last := m.DeclaredAt
 	for _, i := range state.Instances {
 		if !m.Selector.Matches(i) || i.Phase == model.PhaseRetired {
--- a/core/state/trail/measure_test.go
+++ b/core/state/trail/measure_test.go
@@ -33,6 +33,6 @@
 	assert.DeepEqual(t, m, Measures{
 		Rollouts:      []Rollout{{Version: 5, Elapsed: 50}, {Version: 8, Missing: []model.Process{"e2"}}},
 		MedianRollout: 50, LongestRollout: 50, Moves: 1, FinishedMaintenances: 1, IdleInstances: 1,
-		Waves: []Wave{{Name: "w", Maintained: 1, Selected: 2, Elapsed: 6000}},
+		Waves: []WaveProgress{{Name: "w", Maintained: 1, Selected: 2, Elapsed: 6000}},
 	})
 }
--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -187,9 +187,9 @@
 }
 
 // isSilent reports whether the process has never sent a report, or has sent none
-// for longer than trail.ReportTimeout.
+// for longer than trail.SilentAfter.
 func isSilent(s Status, p ProcessStatus) bool {
-	return p.LastReportAt == 0 || s.Now-p.LastReportAt > trail.ReportTimeout
+	return p.LastReportAt == 0 || s.Now-p.LastReportAt > trail.SilentAfter
 }
 
 // Overview writes the status of the control member that answered. For each entry
--- a/io/proto/report/measures.go
+++ b/io/proto/report/measures.go
@@ -66,7 +66,7 @@
 		{"roll-out-worst-ms", m.LongestRollout},
 		{"moves", m.Moves},
 		{"maintained", m.FinishedMaintenances},
-		{"waves", mapObjects(m.Waves, func(wave trail.Wave) object {
+		{"waves", mapObjects(m.Waves, func(wave trail.WaveProgress) object {
 			return object{{"wave", wave.Name}, {"done", wave.Maintained}, {"of", wave.Selected}, {"elapsed-ms", wave.Elapsed}}
 		})},
 		{"idle-instances", m.IdleInstances},
