Rename Persisted and the recheck functions of maint for what they do

raft.Node.Persisted -> ConfirmDurable, lastStable -> lastDurable (stable, persisted, synced and durable meant one state); maint markWave and markPools mark pools: recheckPoolsOfWave, recheckPoolsOfCustomer; markWaitingForCanary marked nothing as waiting: recheckPoolsIfCanaryPending; remaining and left of neededForDeadline: remainingInstances, timeLeft; route warm -> anyWarm; store tests isKind -> assertKind, abandon -> tryAbandon.

--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -28,7 +28,7 @@
 		g.onWriteError(out, err)
 		return
 	}
-	g.node.Persisted()
+	g.node.ConfirmDurable()
 	if len(out.Messages) > 0 {
 		g.cfg.Send(out.Messages)
 	}
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -17,7 +17,7 @@
 	if it.unavailable {
 		for _, c := range pl.customersByPool[it.inst.Pool] {
 			pl.customers[c].remove(it.inst.ID)
-			pl.markPools(pl.customers[c])
+			pl.recheckPoolsOfCustomer(pl.customers[c])
 		}
 	}
 	for _, w := range it.pendingIn {
@@ -26,7 +26,7 @@
 	if pl.inProgress[it.inst.ID] != nil {
 		delete(pl.inProgress, it.inst.ID)
 		it.wave.inProgress--
-		pl.markWaitingForCanary(it.wave)
+		pl.recheckPoolsIfCanaryPending(it.wave)
 	}
 	for _, w := range it.touchedBy {
 		w.touched.add(it.tally, -1)
@@ -95,7 +95,7 @@
 	}
 	for _, c := range pl.customersByPool[it.inst.Pool] {
 		pl.customers[c].add(it.inst, outCause, from)
-		pl.markPools(pl.customers[c])
+		pl.recheckPoolsOfCustomer(pl.customers[c])
 	}
 }
 
@@ -126,7 +126,7 @@
 		it.observedIn = append(it.observedIn, w)
 		w.observedCount++
 		if w.observedCount == 1 {
-			pl.markWave(w)
+			pl.recheckPoolsOfWave(w)
 		}
 	}
 }
@@ -140,19 +140,19 @@
 	}
 	pl.inProgress[it.inst.ID] = it
 	it.wave.inProgress++
-	pl.markWaitingForCanary(it.wave)
+	pl.recheckPoolsIfCanaryPending(it.wave)
 }
 
-// markWaitingForCanary marks all pools of the wave for evaluation if the wave
+// recheckPoolsIfCanaryPending marks all pools of the wave for evaluation if the wave
 // waits for its canary.
-func (pl *Planner[P, S]) markWaitingForCanary(w *wave) {
+func (pl *Planner[P, S]) recheckPoolsIfCanaryPending(w *wave) {
 	if w.observedCount == 0 {
-		pl.markWave(w)
+		pl.recheckPoolsOfWave(w)
 	}
 }
 
-// markWave marks the pools with pending instances of the wave for evaluation.
-func (pl *Planner[P, S]) markWave(w *wave) {
+// recheckPoolsOfWave marks the pools with pending instances of the wave for evaluation.
+func (pl *Planner[P, S]) recheckPoolsOfWave(w *wave) {
 	for p := range w.byPool {
 		pl.poolsToCheck[p] = true
 	}
@@ -229,7 +229,7 @@
 		}
 	}
 	if pl.settings.FullScan {
-		pl.markAll()
+		pl.recheckAll()
 	}
 	for _, id := range sortedKeys(pl.changed) {
 		pl.count(pl.items[id], now)
@@ -237,15 +237,15 @@
 	clear(pl.changed)
 }
 
-// markAll marks every instance, pool and wave for evaluation in this pass.
-func (pl *Planner[P, S]) markAll() {
+// recheckAll marks every instance, pool and wave for evaluation in this pass.
+func (pl *Planner[P, S]) recheckAll() {
 	for _, it := range pl.items {
 		pl.uncount(it)
 	}
 	for p := range pl.itemsByPool {
 		pl.poolsToCheck[p] = true
 	}
-	pl.checkAllWaves()
+	pl.recheckAllWaves()
 }
 
 // setTimer schedules the evaluation of a pool or a wave; key is "pool " or
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -134,13 +134,13 @@
 // neededForDeadline returns the number of concurrent maintenances that just
 // meets the item's deadline.
 func (pl *Planner[P, S]) neededForDeadline(it *item, cs *customerState, now clock.Millis) int {
-	left := it.deadline - now
-	if left <= 0 {
+	timeLeft := it.deadline - now
+	if timeLeft <= 0 {
 		return cs.contract.MaxUnavailable
 	}
-	remaining := clock.Millis(0)
+	remainingInstances := clock.Millis(0)
 	for _, p := range cs.pools {
-		remaining += clock.Millis(it.wave.byPool[p])
+		remainingInstances += clock.Millis(it.wave.byPool[p])
 	}
-	return int((remaining*pl.settings.MaintenanceMillis + left - 1) / left)
+	return int((remainingInstances*pl.settings.MaintenanceMillis + timeLeft - 1) / timeLeft)
 }
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -38,7 +38,7 @@
 			reason = pl.stopPolicy.StopReason(w.touched, w.peers)
 		}
 		if (reason == "") != (w.stopReason == "") {
-			pl.markWave(w)
+			pl.recheckPoolsOfWave(w)
 		}
 		w.stopReason = reason
 		if reason != "" {
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -193,7 +193,7 @@
 		pl.customersByPool[p] = append(pl.customersByPool[p], c.Customer)
 		slices.Sort(pl.customersByPool[p])
 	}
-	pl.checkAllWaves()
+	pl.recheckAllWaves()
 }
 
 // RemoveContract removes the contract of a customer, if there is one.
@@ -209,7 +209,7 @@
 	for _, p := range cs.pools {
 		pl.customersByPool[p] = slices.DeleteFunc(pl.customersByPool[p], func(c model.Customer) bool { return c == name })
 	}
-	pl.checkAllWaves()
+	pl.recheckAllWaves()
 }
 
 // uncountPool removes the instances of the pool from all counts until the next pass.
@@ -220,7 +220,7 @@
 	}
 }
 
-func (pl *Planner[P, S]) checkAllWaves() {
+func (pl *Planner[P, S]) recheckAllWaves() {
 	for _, n := range pl.waveNames {
 		pl.wavesToCheck[n] = true
 	}
@@ -268,7 +268,7 @@
 	pl.finishedOutages[o.Pool] = append(pl.finishedOutages[o.Pool], o)
 	for _, c := range pl.customersByPool[o.Pool] {
 		pl.customers[c].usedAt = -1
-		pl.markPools(pl.customers[c])
+		pl.recheckPoolsOfCustomer(pl.customers[c])
 	}
 }
 
@@ -280,11 +280,11 @@
 		return
 	}
 	cs.unservedPermille = permille
-	pl.markPools(cs)
+	pl.recheckPoolsOfCustomer(cs)
 }
 
-// markPools marks the pools of the customer for evaluation in the next pass.
-func (pl *Planner[P, S]) markPools(cs *customerState) {
+// recheckPoolsOfCustomer marks the pools of the customer for evaluation in the next pass.
+func (pl *Planner[P, S]) recheckPoolsOfCustomer(cs *customerState) {
 	for _, p := range cs.pools {
 		pl.poolsToCheck[p] = true
 	}
--- a/core/state/raft/checks_test.go
+++ b/core/state/raft/checks_test.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// checkSynced fails if a message is sent before the term, entries or vote that it
+// checkDurable fails if a message is sent before the term, entries or vote that it
 // reports are on disk.
-func (sim *simulation) checkSynced(h *host, m Message) {
+func (sim *simulation) checkDurable(h *host, m Message) {
 	switch {
 	case m.Term > h.disk.hard.Term && m.Kind != MsgPreVote && m.Kind != MsgPreVoteReply:
 		sim.failf("host %d sent term %d, but its disk has term %d", h.self.ID, m.Term, h.disk.hard.Term)
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -16,9 +16,9 @@
 	// nextOutput is the index of the first entry that no Output has contained;
 	// last+1 if there is none.
 	nextOutput uint64
-	// lastStable is the index of the last entry that the caller has synced; below
+	// lastDurable is the index of the last entry that the caller has synced; below
 	// nextOutput.
-	lastStable uint64
+	lastDurable uint64
 }
 
 func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
@@ -74,7 +74,7 @@
 	keep := from - l.base - 1
 	l.entries = l.entries[:keep:keep]
 	l.nextOutput = min(l.nextOutput, from)
-	l.lastStable = min(l.lastStable, from-1)
+	l.lastDurable = min(l.lastDurable, from-1)
 }
 
 // compact moves the base up to index and frees the entries up to it.
@@ -90,7 +90,7 @@
 // reset empties the log and sets its base to the last entry of an installed
 // snapshot.
 func (l *entryLog) reset(index, term uint64) {
-	*l = entryLog{base: index, baseTerm: term, nextOutput: index + 1, lastStable: index}
+	*l = entryLog{base: index, baseTerm: term, nextOutput: index + 1, lastDurable: index}
 }
 
 // upToDate reports whether a log whose last entry has the given index and term
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -61,9 +61,9 @@
 	// lastOutputHard is the hard state of the last Output that contained one;
 	// initially the stored one.
 	lastOutputHard HardState
-	// awaitingPersisted is true from a non-empty Output until Persisted is
+	// awaitingDurable is true from a non-empty Output until Persisted is
 	// called.
-	awaitingPersisted bool
+	awaitingDurable bool
 }
 
 // New returns a Node with the state loaded from the member's disk. For a member
@@ -90,7 +90,7 @@
 	n.log.reset(stored.Snapshot.Index, stored.Snapshot.Term)
 	n.appendEntries(stored.Entries)
 	n.log.nextOutput = n.log.last() + 1
-	n.log.lastStable = n.log.last()
+	n.log.lastDurable = n.log.last()
 	n.commit = min(max(stored.Hard.Commit, stored.Snapshot.Index), n.log.last())
 	// A crash may have preserved entries of a term but not the hard state that
 	// was written with them. This member has then sent no vote in that term.
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -118,7 +118,7 @@
 		out := n.Output()
 		assert.Equal(t, len(out.Messages), 1)
 		assert.Assert(t, out.Messages[0].Reject)
-		n.Persisted()
+		n.ConfirmDurable()
 	}
 	n.Tick(10_000)
 	assert.Equal(t, n.Role(), RoleFollower)
@@ -155,7 +155,7 @@
 	assert.Equal(t, len(out.Append), 0)
 	assert.Equal(t, out.Hard.Commit, uint64(0), "a crash before the installation would commit entries of the old log")
 	assert.Equal(t, len(out.Messages), 1)
-	n.Persisted()
+	n.ConfirmDurable()
 	assert.NilError(t, n.Step(next, 1))
 	out = n.Output()
 	assert.Equal(t, len(out.Append), 1)
--- a/core/state/raft/output.go
+++ b/core/state/raft/output.go
@@ -11,7 +11,7 @@
 // message. After a non-empty output the caller must call Persisted; until then
 // Output returns an empty output.
 func (n *Node) Output() Output {
-	if n.awaitingPersisted {
+	if n.awaitingDurable {
 		return Output{}
 	}
 	n.sendLeaderMessages()
@@ -36,7 +36,7 @@
 	n.applied = n.commit
 	n.messages, n.readyReads, n.needSnapshot = nil, nil, nil
 	n.install, n.installData = nil, nil
-	n.awaitingPersisted = !out.Empty()
+	n.awaitingDurable = !out.Empty()
 	return out
 }
 
@@ -45,21 +45,21 @@
 // but lose the entries or the snapshot written with it. The entries that they
 // were to replace must not count as committed after such a crash.
 func (n *Node) hardState() HardState {
-	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.lastStable)}
+	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.lastDurable)}
 	if n.install != nil {
 		hard.Commit = n.lastOutputHard.Commit
 	}
 	return hard
 }
 
-// Persisted reports that the last output has been written and synced to disk.
+// ConfirmDurable reports that the last output has been written and synced to disk.
 // Only then do the leader's own entries count towards a quorum.
-func (n *Node) Persisted() {
-	if !n.awaitingPersisted {
+func (n *Node) ConfirmDurable() {
+	if !n.awaitingDurable {
 		return
 	}
-	n.awaitingPersisted = false
-	n.log.lastStable = n.log.nextOutput - 1
+	n.awaitingDurable = false
+	n.log.lastDurable = n.log.nextOutput - 1
 	if n.role == RoleLeader {
 		n.advanceCommit()
 	}
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -232,7 +232,7 @@
 		switch p := n.peers[m.ID]; {
 		case !m.Voter:
 		case m.ID == n.self:
-			matches = append(matches, n.log.lastStable)
+			matches = append(matches, n.log.lastDurable)
 		case p != nil:
 			matches = append(matches, p.match)
 		}
--- a/core/state/raft/simulation_test.go
+++ b/core/state/raft/simulation_test.go
@@ -295,9 +295,9 @@
 		h.load(*out.Install, out.InstallData)
 		sim.installs++
 	}
-	h.node.Persisted()
+	h.node.ConfirmDurable()
 	for _, m := range out.Messages {
-		sim.checkSynced(h, m)
+		sim.checkDurable(h, m)
 		sim.sendMessage(m)
 	}
 	for _, e := range out.Committed {
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -218,9 +218,9 @@
 	}
 	r.candidates = r.candidates[:0]
 	var chosen *Upstream
-	warm := pu.hasWarmUpstream(now)
+	anyWarm := pu.hasWarmUpstream(now)
 	for _, u := range pu.members {
-		n := r.capacity(now, u, warm)
+		n := r.capacity(now, u, anyWarm)
 		if u.Running >= n {
 			continue
 		}
@@ -277,7 +277,7 @@
 }
 
 // capacity returns the number of requests that an upstream may run at once now.
-func (r *Router[P]) capacity(now clock.Millis, u *Upstream, warm bool) int {
+func (r *Router[P]) capacity(now clock.Millis, u *Upstream, anyWarm bool) int {
 	if u.Ejected(now) {
 		return 0
 	}
@@ -286,7 +286,7 @@
 		slots = u.Slots - max(u.Lendable, u.Lent)
 	}
 	age := max(now-u.SlowStartFrom, 0)
-	if !warm || age >= SlowStart || slots <= 0 {
+	if !anyWarm || age >= SlowStart || slots <= 0 {
 		return max(slots, 0)
 	}
 	return max(1, int(clock.Millis(slots)*age/SlowStart))
@@ -298,9 +298,9 @@
 	if pu == nil {
 		return 0
 	}
-	n, warm := 0, pu.hasWarmUpstream(now)
+	n, anyWarm := 0, pu.hasWarmUpstream(now)
 	for _, u := range pu.members {
-		n += r.capacity(now, u, warm)
+		n += r.capacity(now, u, anyWarm)
 	}
 	return n
 }
--- a/core/state/store/open_test.go
+++ b/core/state/store/open_test.go
@@ -115,7 +115,7 @@
 			c.damage(t, dir)
 			s, err := open(dir, store.OSFileSystem{}, 100)
 			if c.last == 0 {
-				isKind(t, err, c.kind)
+				assertKind(t, err, c.kind)
 				assert.ErrorContains(t, err, c.text)
 				return
 			}
@@ -137,9 +137,9 @@
 	s, err := open(dir, store.OSFileSystem{}, 0)
 	assert.NilError(t, err)
 	_, err = open(dir, store.OSFileSystem{}, 0)
-	isKind(t, err, store.KindLocked)
+	assertKind(t, err, store.KindLocked)
 	assert.NilError(t, s.Close())
-	isKind(t, s.Save(nil, nil), store.KindClosed)
+	assertKind(t, s.Save(nil, nil), store.KindClosed)
 	s, err = open(dir, store.OSFileSystem{}, 0)
 	assert.NilError(t, err)
 	assert.NilError(t, s.Close())
@@ -155,16 +155,16 @@
 	fill(t, s, 1, 2)
 	long := []raft.Entry{{Index: 3, Term: 1, Data: make([]byte, 500)}}
 	disk.countdown, disk.failure = 2, syscall.ENOSPC
-	isKind(t, s.Save(nil, long), store.KindDiskFull)
+	assertKind(t, s.Save(nil, long), store.KindDiskFull)
 	fill(t, s, 3, 3)
 	file := disk.names[filepath.Join("d", firstSegment)]
 	assert.Equal(t, len(file.data), 3*28)
 
 	disk.countdown, disk.failure = 2, syscall.EIO
-	isKind(t, s.Save(nil, []raft.Entry{{Index: 4, Term: 1}}), store.KindIO)
+	assertKind(t, s.Save(nil, []raft.Entry{{Index: 4, Term: 1}}), store.KindIO)
 	file.data[40] ^= 1
 	err = s.Save(nil, []raft.Entry{{Index: 4, Term: 1}})
-	isKind(t, err, store.KindCorrupt)
+	assertKind(t, err, store.KindCorrupt)
 	assert.ErrorContains(t, err, firstSegment+", offset 28")
 }
 
@@ -176,11 +176,11 @@
 	fill(t, s, 1, 4)
 	assert.NilError(t, s.Save(&raft.HardState{Term: 2, Commit: 3}, nil))
 	for _, batch := range [][]raft.Entry{{{Index: 6}}, {{Index: 3}}, {{Index: 4}, {Index: 6}}} {
-		isKind(t, s.Save(nil, batch), store.KindOutOfOrder)
+		assertKind(t, s.Save(nil, batch), store.KindOutOfOrder)
 	}
-	isKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOutOfOrder)
-	isKind(t, s.SaveSnapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOutOfOrder)
-	isKind(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOutOfOrder)
+	assertKind(t, s.Save(&raft.HardState{Term: 1}, nil), store.KindOutOfOrder)
+	assertKind(t, s.SaveSnapshot(raft.SnapshotMeta{Index: 5, Term: 2}, nil), store.KindOutOfOrder)
+	assertKind(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 3, Term: 2}, nil), store.KindOutOfOrder)
 	assert.NilError(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")))
 	assert.NilError(t, s.InstallSnapshot(raft.SnapshotMeta{Index: 9, Term: 2}, []byte("state")), "a repeated call")
 	assert.NilError(t, s.Save(nil, []raft.Entry{{Index: 10, Term: 2}}))
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -21,8 +21,8 @@
 	return store.Open(dir, store.Options[codec.Codec, F]{FileSystem: files, SegmentBytes: size, Self: raft.Member{Name: "c1", Zone: "z"}})
 }
 
-// isKind fails the test unless err is an Error of the given kind.
-func isKind(t assert.TestingT, err error, kind store.Kind) {
+// assertKind fails the test unless err is an Error of the given kind.
+func assertKind(t assert.TestingT, err error, kind store.Kind) {
 	var e *store.Error
 	assert.Assert(t, errors.As(err, &e), "%T %v", err, err)
 	assert.Equal(t, e.Kind, kind, "%v", err)
@@ -104,9 +104,9 @@
 	return out
 }
 
-// abandon decides not to repeat a failed Save and reports whether that is
+// tryAbandon decides not to repeat a failed Save and reports whether that is
 // allowed: the failed call must be a Save that commits none of its new entries.
-func (s step) abandon(r *run) bool {
+func (s step) tryAbandon(r *run) bool {
 	if s.snap.Index != r.snap.Index || s.hard.Commit > r.snap.Index+uint64(s.keptEntries) {
 		return false
 	}
@@ -182,7 +182,7 @@
 			r.disk.countdown = 0
 			next.afterAbandoned, r.abandoned = r.abandoned, false
 			if err != nil && !crash {
-				if fault == 4 && next.abandon(r) {
+				if fault == 4 && next.tryAbandon(r) {
 					continue
 				}
 				assert.NilError(t, next.call(), "the repeated call")
