--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -52,8 +52,10 @@
 	// typical run time.
 	runTimeQuantile = 0.85
 	quantileStep    = 0.05
-	// quantileFall is the smallest step down, as a fraction of the distance between
-	// the estimate and the typical run time.
+	// quantileFall is the smallest step of a fall of the estimate, as a fraction of
+	// the distance between the estimate and the typical run time. Like every step
+	// down, it is multiplied by 1-runTimeQuantile: the estimate falls by at least 3 %
+	// of the distance.
 	quantileFall = 0.2
 	// waitMargin is the fraction by which the estimated wait is increased, because
 	// the estimate leaves out the time between two requests on a slot.
--- a/core/state/clock/clock.go
+++ b/core/state/clock/clock.go
@@ -17,13 +17,12 @@
 	Day           = 24 * Hour
 )
 
-// Duration converts a duration to that of the standard library.
+// Duration returns m, which must be a duration, as a time.Duration.
 func (m Millis) Duration() time.Duration {
 	return time.Duration(m) * time.Millisecond
 }
 
-// FromDuration converts a duration of the standard library. Fractions of a
-// millisecond are truncated.
+// FromDuration returns d in milliseconds. Fractions of a millisecond are truncated.
 func FromDuration(d time.Duration) Millis {
 	return Millis(d / time.Millisecond)
 }
--- a/core/state/limits/derive.go
+++ b/core/state/limits/derive.go
@@ -54,8 +54,8 @@
 // Limit is a derived limit together with its derivation.
 type Limit struct {
 	Name Name
-	// Requested is the value in the contract. A concurrency of 0 requests none and
-	// leaves the value to RuleSlots.
+	// Requested is the value in the contract. If it is 0 for the concurrency, the
+	// contract requests no value, and Value follows from RuleSlots.
 	Requested int64
 	Value     int64
 	Rule      Rule
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -7,7 +7,7 @@
 	"camphorridge/core/state/model"
 )
 
-// uncount removes the item from all counts and marks it for the next pass.
+// uncount removes the item from all counts. The next pass counts it again.
 func (pl *Planner[P, S]) uncount(it *item) {
 	pl.changed[it.inst.ID] = true
 	if !it.counted {
@@ -100,8 +100,8 @@
 }
 
 // countInWave counts the instance for one wave: as pending if the wave still has to
-// maintain it, as touched or peer, and as observed once the canary time has passed
-// since its maintenance.
+// maintain it, as touched or peer, and as observed once CanaryMillis have passed
+// since its MaintainedAt.
 func (pl *Planner[P, S]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
 	if deadline, ok := w.needs(pl.settings, it.inst, now); ok {
 		it.pendingIn = append(it.pendingIn, w)
@@ -121,6 +121,8 @@
 		it.peerIn = append(it.peerIn, w)
 		w.peers.add(it.tally, 1)
 	}
+	// Unlike in maintained, the time is not limited to TouchedMillis: the periodic
+	// wave would otherwise wait for a new canary once its last one was that long ago.
 	if it.inst.MaintainedAt > 0 && it.inst.MaintainedAt >= w.decl.DeclaredAt && w.decl.Selector.Matches(it.inst) &&
 		it.inst.MaintainedAt+pl.settings.CanaryMillis <= now {
 		it.observedIn = append(it.observedIn, w)
@@ -132,8 +134,9 @@
 }
 
 // countInProgress counts an instance whose maintenance has started. If no wave
-// needs it any more, because its declaration was cancelled, it gets a
-// placeholder wave that is not registered and therefore starts nothing.
+// needs it any more, because its declaration was cancelled, it gets a placeholder
+// wave that is not in pl.waves and therefore starts nothing. Steps and waits of the
+// instance name "cancelled", the name of the placeholder, as their wave.
 func (pl *Planner[P, S]) countInProgress(it *item) {
 	if it.wave == nil {
 		it.wave = newWave(model.Maintenance{Name: "cancelled"})
@@ -143,15 +146,16 @@
 	pl.recheckPoolsIfCanaryPending(it.wave)
 }
 
-// recheckPoolsIfCanaryPending marks all pools of the wave for evaluation if the wave
-// waits for its canary.
+// recheckPoolsIfCanaryPending marks the pools with pending instances of the wave for
+// evaluation if the canary phase of the wave has not ended.
 func (pl *Planner[P, S]) recheckPoolsIfCanaryPending(w *wave) {
 	if w.observedCount == 0 {
 		pl.recheckPoolsOfWave(w)
 	}
 }
 
-// recheckPoolsOfWave marks the pools with pending instances of the wave for evaluation.
+// recheckPoolsOfWave marks the pools with pending instances of the wave for
+// evaluation.
 func (pl *Planner[P, S]) recheckPoolsOfWave(w *wave) {
 	for p := range w.byPool {
 		pl.poolsToCheck[p] = true
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -103,7 +103,7 @@
 		wait.Limit, wait.Current, wait.Max = LimitMaxUnavailable, int64(cs.total), int64(c.MaxUnavailable)
 		wait.Unblock = "an instance of the customer comes back into service"
 		if c.MaxUnavailable == 0 {
-			wait.Unblock = "the contract allows at least one unavailable instance"
+			wait.Unblock = "the contract is changed to allow at least one unavailable instance"
 		}
 		return scopePool, true
 	}
@@ -125,7 +125,7 @@
 	if cs.byCause[causeMaintenance] >= maxConcurrent {
 		wait.Limit, wait.Current, wait.Max = LimitUnserved, int64(cs.byCause[causeMaintenance]), int64(maxConcurrent)
 		wait.Until = now + pl.settings.PacerRetryMillis
-		wait.Unblock = fmt.Sprintf("the share of unserved requests falls; it is %d permille", cs.unservedPermille)
+		wait.Unblock = fmt.Sprintf("the pacer allows another maintenance, because the share of unserved requests falls from %d permille or a maintenance in progress ends", cs.unservedPermille)
 		return scopeItem, true
 	}
 	return scopeItem, false
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -21,15 +21,18 @@
 	byPool map[model.Pool]int
 	// inProgress counts the instances whose maintenance has started.
 	inProgress int
-	// touched sums up the instances that the wave maintained or that are stuck
-	// in its maintenance, peers all others.
+	// touched sums up the instances for which maintained returns true or that are
+	// stuck in the wave's maintenance, peers all others.
 	touched Tally
 	peers   Tally
-	// observedCount is the number of instances that were maintained and then
-	// observed for the canary time. The first one ends the canary phase.
+	// observedCount is the number of selected instances whose MaintainedAt is not
+	// before the declaration and at least CanaryMillis ago. The first one ends the
+	// canary phase.
 	observedCount int
-	// canaryReturnedAt is the time at which the first instance returned. It is
-	// valid only while observedCount is 0.
+	// canaryReturnedAt is the MaintainedAt of the touched instance that was counted
+	// last. While that is the canary, it is the time of the canary's return; for a
+	// stuck instance it is the time of an earlier maintenance. It is used only while
+	// observedCount is 0.
 	canaryReturnedAt clock.Millis
 	// stopReason is the reason why no more maintenance starts; empty while the
 	// wave runs.
@@ -70,7 +73,7 @@
 
 // needs reports whether the wave still has to maintain the instance, and by
 // when. The periodic wave needs an instance from MarginMillis before the end of
-// its period.
+// its period, and any instance whose maintenance has started.
 func (w *wave) needs(s Settings, i model.Instance, now clock.Millis) (deadline clock.Millis, ok bool) {
 	if i.Phase == model.PhaseRetired || w.decl.DeclaredAt > now {
 		return 0, false
@@ -82,8 +85,10 @@
 	return w.decl.Deadline, i.MaintainedAt < w.decl.DeclaredAt && w.decl.Selector.Matches(i)
 }
 
-// maintained reports whether the wave maintained the instance: since the
-// declaration, and for the periodic wave within the last TouchedMillis.
+// maintained reports whether the instance counts as maintained by the wave: its
+// MaintainedAt is not before the declaration and, for the periodic wave, within the
+// last TouchedMillis. Enrolment sets MaintainedAt too, so an instance that was
+// enrolled in this time counts as maintained.
 func (w *wave) maintained(s Settings, i model.Instance, now clock.Millis) bool {
 	if i.MaintainedAt == 0 || i.MaintainedAt < w.decl.DeclaredAt {
 		return false
@@ -95,8 +100,8 @@
 }
 
 // periodEnd returns the time by which periodic maintenance of the instance is
-// required next. Instances that were not maintained since PeriodicStart are spread
-// evenly by a hash of their ID, so that their first periods do not all end at the
+// required next. Instances that were not maintained or enrolled since PeriodicStart are
+// spread evenly by a hash of their ID, so that their first periods do not all end at the
 // same time.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
 	if i.MaintainedAt >= s.PeriodicStart && i.MaintainedAt > 0 {
--- a/core/state/model/event.go
+++ b/core/state/model/event.go
@@ -58,8 +58,7 @@
 	Instance InstanceID
 	Request  string
 	Version  Version
-	// Limit names the limit that was hit. Detail describes what was requested and
-	// tried.
+	// Limit names the limit that was reached. Detail is free text for operators.
 	Limit  string
 	Detail string
 }
--- a/core/state/model/model.go
+++ b/core/state/model/model.go
@@ -11,7 +11,8 @@
 	Customer string
 	// Pool names a group of instances that run one service.
 	Pool string
-	// InstanceID names a machine of the fleet.
+	// InstanceID names an instance: a machine of the fleet that serves the requests
+	// of one pool at a time.
 	InstanceID string
 	// Zone names an availability zone.
 	Zone string
@@ -128,7 +129,7 @@
 // valid name, so it cannot collide with a pool.
 const PoolNone Pool = "-"
 
-// Instance is the record of a fleet machine in the control group.
+// Instance is the record that the control group keeps of one instance.
 type Instance struct {
 	ID   InstanceID
 	Zone Zone
@@ -149,7 +150,9 @@
 	// Incarnation is the upstream's incarnation when the instance was handed
 	// to the platform; a higher one shows that it was rebooted.
 	Incarnation uint64
-	// MaintainedAt is the time of the last finished maintenance; 0 for never.
+	// MaintainedAt is the time of the last finished maintenance, or of the enrolment
+	// while there was none since: an enrolled instance counts as maintained. It is 0
+	// if neither is known.
 	MaintainedAt clock.Millis
 	// LostSince is the time since which no entry process has received announcements
 	// of the instance, without a planned reason; 0 if it is not lost.
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -16,8 +16,8 @@
 	// nextOutput is the index of the first entry that no Output has contained;
 	// last+1 if there is none.
 	nextOutput uint64
-	// lastDurable is the index of the last entry that the caller has synced; below
-	// nextOutput.
+	// lastDurable is the index of the last entry that is durable, as confirmed by
+	// ConfirmDurable; below nextOutput.
 	lastDurable uint64
 }
 
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -41,7 +41,7 @@
 // leader.
 type PeerStatus struct {
 	Member Member
-	// Match is the index of the last entry known to be on the member's disk.
+	// Match is the index of the last entry known to be durable on the member.
 	Match uint64
 	// RecentlyActive is true if the member has replied within the election
 	// timeout, or if the leader began to track it within that time.
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -61,7 +61,7 @@
 	// lastOutputHard is the hard state of the last Output that contained one;
 	// initially the stored one.
 	lastOutputHard HardState
-	// awaitingDurable is true from a non-empty Output until Persisted is
+	// awaitingDurable is true from a non-empty Output until ConfirmDurable is
 	// called.
 	awaitingDurable bool
 }
--- a/core/state/raft/output.go
+++ b/core/state/raft/output.go
@@ -8,8 +8,8 @@
 
 // Output returns the work that accumulated since the last call. All append
 // messages are created here, so that the proposals of one batch are sent in one
-// message. After a non-empty output the caller must call Persisted; until then
-// Output returns an empty output.
+// message. After a non-empty output the caller must call ConfirmDurable; until
+// then Output returns an empty output.
 func (n *Node) Output() Output {
 	if n.awaitingDurable {
 		return Output{}
@@ -41,8 +41,8 @@
 }
 
 // hardState returns the hard state to write. Its commit index covers only
-// entries that have been synced before: a crash may preserve the new hard state
-// but lose the entries or the snapshot written with it. The entries that they
+// entries that are durable already: a crash may preserve the new hard state but
+// lose the entries or the snapshot written with it. The entries that they
 // were to replace must not count as committed after such a crash.
 func (n *Node) hardState() HardState {
 	hard := HardState{Term: n.term, Vote: n.vote, Commit: min(n.commit, n.log.lastDurable)}
@@ -52,8 +52,9 @@
 	return hard
 }
 
-// ConfirmDurable reports that the last output has been written and synced to disk.
-// Only then do the leader's own entries count towards a quorum.
+// ConfirmDurable tells the node that the hard state, the entries and the snapshot
+// of the last output are durable. Only then do the leader's own entries count
+// towards a quorum.
 func (n *Node) ConfirmDurable() {
 	if !n.awaitingDurable {
 		return
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -27,7 +27,7 @@
 
 // progress is the replication state of another member as tracked by the leader.
 type progress struct {
-	// match is the index of the last entry known to be on the member's disk. It
+	// match is the index of the last entry known to be durable on the member. It
 	// decreases only if the member's disk lost entries; see onReject.
 	match uint64
 	// next is the index of the first entry of the next append; above match.
@@ -120,7 +120,7 @@
 
 // onAppend appends the entries of the leader to the log, in place of entries that
 // differ from them. The reply is part of the same Output as the entries and is
-// therefore sent after they are synced. The error has KindInvalid if an entry
+// therefore sent after they are durable. The error has KindInvalid if an entry
 // would replace a committed one or leave a gap.
 func (n *Node) onAppend(m Message) error {
 	prev, prevTerm, es := m.Index, m.LogTerm, m.Entries
@@ -223,7 +223,7 @@
 	n.confirmReads()
 }
 
-// advanceCommit commits the entries that a quorum of voters has on disk. Only an
+// advanceCommit commits the entries that are durable on a quorum of voters. Only an
 // entry of the current term is committed this way; it commits all entries before
 // it.
 func (n *Node) advanceCommit() {
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -46,15 +46,15 @@
 	Members []Member
 }
 
-// HardState is the state of a member that must be synced to disk before any
-// message of the same Output is sent.
+// HardState is the state of a member that must be durable before any message of
+// the same Output is sent.
 type HardState struct {
 	// Term never decreases.
 	Term uint64
 	// Vote is the candidate voted for in Term; 0 means none.
 	Vote MemberID
 	// Commit is the index of the last entry known to be committed. It never
-	// decreases and need not be synced with each change.
+	// decreases and need not be made durable with each change.
 	Commit uint64
 }
 
@@ -170,10 +170,11 @@
 	Seed uint64
 }
 
-// Output is the work that the caller must perform, in this order: sync Hard
-// and Append to disk, install the snapshot, call Persisted, send Messages,
-// apply Committed, answer Reads. If a write fails, the caller retries the same
-// output; the node returns no other output until Persisted is called.
+// Output is the work that the caller must perform, in this order: make
+// Hard and Append durable, install the snapshot, call ConfirmDurable, send
+// Messages, apply Committed, answer Reads. If a write fails, the caller retries
+// the same output; the node returns no other output until ConfirmDurable is
+// called.
 type Output struct {
 	// Hard is nil when the hard state need not be written.
 	Hard *HardState
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -39,8 +39,8 @@
 	// that an earlier run of this process granted.
 	LoansUncertain bool
 	candidates     []Candidate
-	// ejectionsToReport lists the upstreams whose end of ejection TakeRestored has not
-	// reported yet.
+	// ejectionsToReport lists the upstreams that were ejected and that TakeRestored
+	// has not returned since.
 	ejectionsToReport []*Upstream
 }
 
@@ -243,7 +243,7 @@
 }
 
 // TakeRestored appends to buf the upstreams whose ejection has ended since the last
-// call.
+// call. It returns the end of each ejection only once.
 func (r *Router[P]) TakeRestored(now clock.Millis, buf []*Upstream) []*Upstream {
 	kept := r.ejectionsToReport[:0]
 	for _, u := range r.ejectionsToReport {
@@ -277,6 +277,8 @@
 }
 
 // capacity returns the number of requests that an upstream may run at once now.
+// anyWarm is the result of hasWarmUpstream for its pool; if it is false, slow start
+// does not limit the upstream.
 func (r *Router[P]) capacity(now clock.Millis, u *Upstream, anyWarm bool) int {
 	if u.Ejected(now) {
 		return 0
@@ -347,8 +349,9 @@
 
 // DrainedVersion returns the highest table version such that no request in flight
 // and no loan uses an instance released at or below it; 0 while LoansUncertain is
-// set. The result can be lower if an instance became routable again before all
-// earlier requests had ended, which the control group never allows.
+// set. The control group makes a released instance routable again only after the
+// confirmation of its release. If it did so earlier, the result could be lower than
+// necessary, but never too high.
 func (r *Router[P]) DrainedVersion() model.Version {
 	if r.LoansUncertain {
 		return 0
--- a/core/state/store/doc.go
+++ b/core/state/store/doc.go
@@ -9,7 +9,7 @@
 // A call of Save appends one record, or several for a batch above 16 MiB, and
 // syncs each. A record replaces all earlier entries whose index is not below that
 // of its first entry: a conflicting suffix of the log is replaced by appending a
-// record, and its bytes stay in the segment. Because every record is synced before
+// record, and its bytes stay in the segment. Because every record is durable before
 // the next one is written, a crash can damage only the last record. Damage
 // anywhere else is reported as an error and never repaired.
 package store
--- a/core/state/store/meta.go
+++ b/core/state/store/meta.go
@@ -38,7 +38,7 @@
 
 func decodeMeta(b []byte) (metaState, error) {
 	if len(b) != metaSize || string(b[:len(metaMagic)]) != metaMagic {
-		return metaState{}, corruptError(metaName, 0, "the file has %d bytes and is not a meta file of this format version", len(b))
+		return metaState{}, corruptError(metaName, 0, "found %d bytes, expected %d bytes that start with %q", len(b), metaSize, metaMagic)
 	}
 	sum := binary.LittleEndian.Uint32(b[metaSize-4:])
 	if got := crc32.Checksum(b[:metaSize-4], castagnoli); got != sum {
@@ -50,7 +50,7 @@
 		hard: raft.HardState{Term: field(1), Vote: raft.MemberID(field(2)), Commit: field(3)},
 	}
 	if m.id == 0 {
-		return metaState{}, corruptError(metaName, int64(len(metaMagic)), "the member ID is 0")
+		return metaState{}, corruptError(metaName, int64(len(metaMagic)), "found member ID 0, expected any other")
 	}
 	return m, nil
 }
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -148,8 +148,8 @@
 }
 
 // loadSnapshot reads the description of the latest snapshot and removes older
-// snapshots left by a crash. The latest one is durable because it is renamed to
-// its name only after it was synced.
+// snapshots left by a crash. The content of the latest one is durable
+// because the file is renamed to its name only after a sync.
 func (s *Store[C, F]) loadSnapshot(snaps []uint64) error {
 	if len(snaps) == 0 {
 		return nil
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -13,7 +13,7 @@
 	logPrefix = "log-"
 	logExt    = ".seg"
 	// maxRecordBytes limits the data of one record. A larger batch is written as
-	// several records, each synced before the next one.
+	// several records, each durable before the next one is written.
 	maxRecordBytes = 16 << 20
 	// maxKeptBufferBytes is the capacity above which the record buffer is not kept
 	// for the next record.
@@ -26,7 +26,7 @@
 	first uint64
 	// last is the index of the last entry; first-1 while the segment is empty.
 	last uint64
-	// size is the offset of the end of the last synced record. The file may be
+	// size is the offset of the end of the last durable record. The file may be
 	// longer after a failed write.
 	size int64
 }
@@ -129,7 +129,7 @@
 }
 
 // closeActive closes the file of the last segment. An error of Close is ignored
-// because all acknowledged records have been synced.
+// because all acknowledged records are durable.
 func (s *Store[C, F]) closeActive() {
 	if s.active != nil {
 		_ = s.active.Close()
@@ -181,7 +181,7 @@
 	return nil
 }
 
-// repairTail truncates the last segment to the end of its last synced record
+// repairTail truncates the last segment to the end of its last durable record
 // after a failed write or sync. After a failed sync, the kernel may have dropped
 // the dirty pages and marked them clean, so that a second sync would succeed
 // without writing them. The success of a later sync is therefore not trusted:
@@ -219,7 +219,7 @@
 	return nil
 }
 
-// checkRecords returns an error if the synced records of a segment, whose file
+// checkRecords returns an error if the durable records of a segment, whose file
 // content is b, are damaged.
 func checkRecords(seg segment, b []byte) error {
 	if int64(len(b)) < seg.size {
--- a/core/state/store/snapshot.go
+++ b/core/state/store/snapshot.go
@@ -55,7 +55,7 @@
 
 func parseSnapshot[C EntryCodec](codec C, name string, b []byte) (raft.SnapshotMeta, []byte, error) {
 	if len(b) < snapHeaderSize || string(b[:len(snapMagic)]) != snapMagic {
-		return raft.SnapshotMeta{}, nil, corruptError(name, 0, "the file has %d bytes and is not a snapshot of this format version", len(b))
+		return raft.SnapshotMeta{}, nil, corruptError(name, 0, "found %d bytes, expected at least %d bytes that start with %q", len(b), snapHeaderSize, snapMagic)
 	}
 	rest := b[len(snapMagic)+4:]
 	sum := binary.LittleEndian.Uint32(b[len(snapMagic):])
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -50,7 +50,7 @@
 	// droppedFiles lists the files that must be removed before the next write.
 	droppedFiles []string
 	// tornWrite is set while the file of the last segment may have bytes after the
-	// last synced record, and failedSync after a failed sync. Both are cleared when
+	// last durable record, and failedSync after a failed sync. Both are cleared when
 	// the segment has been repaired or dropped.
 	tornWrite, failedSync bool
 	// recordBuf is a buffer for the next record. During Open it holds the last
@@ -66,13 +66,13 @@
 
 // Save makes a hard state and entries durable; hard may be nil and entries may
 // be empty. The entries replace all stored entries with an index of
-// entries[0].Index or higher. A new term or vote is synced before the entries
+// entries[0].Index or higher. A new term or vote is durable before the entries
 // are written; a new commit index alone is written with the next term or vote,
 // or by Close.
 //
 // After an error nothing of the call may be acknowledged, although its term and
 // vote, and the first entries of a batch above 16 MiB, may be durable. The same
-// call may be repeated; it first truncates the log to its last synced record.
+// call may be repeated; it first truncates the log to its last durable record.
 func (s *Store[C, F]) Save(hard *raft.HardState, entries []raft.Entry) error {
 	if err := s.prepareWrite("save"); err != nil {
 		return err
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -104,8 +104,9 @@
 	return out
 }
 
-// tryAbandon decides not to repeat a failed Save and reports whether that is
-// allowed: the failed call must be a Save that commits none of its new entries.
+// tryAbandon records that a failed Save is not repeated and returns true. It changes
+// nothing and returns false if the call must be repeated, because it is not a Save
+// or commits some of its new entries.
 func (s step) tryAbandon(r *run) bool {
 	if s.snap.Index != r.snap.Index || s.hard.Commit > r.snap.Index+uint64(s.keptEntries) {
 		return false
@@ -166,11 +167,15 @@
 		r.reopen(t)
 		for range rapid.IntRange(1, 25).Draw(t, "calls") {
 			next := r.drawStep(t)
-			// Faults 0 to 2 are a power cut during the call, after which 2 also
-			// interrupts the recovery. Faults 3 to 5 are one failed operation: after
-			// a failed call, 3 is followed by a crash, 4 may abandon the call, and 5
-			// repeats it. Faults 6 and 7 are a crash after the call, and 8 and 9 are
-			// none.
+			// The numbers of the faults:
+			//   0, 1: a power cut during the call
+			//   2:    a power cut during the call and another one during the recovery
+			//   3:    one failed operation; if the call fails, a crash follows
+			//   4:    one failed operation; a failed call is abandoned if tryAbandon
+			//         allows it, otherwise repeated
+			//   5:    one failed operation; a failed call is repeated
+			//   6, 7: a crash after the call
+			//   8, 9: none
 			fault := rapid.IntRange(0, 9).Draw(t, "fault")
 			r.disk.failure = []error{syscall.ENOSPC, syscall.EIO}[fault%2]
 			if fault < 6 {
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -32,7 +32,7 @@
 	Name    model.Process
 	Zone    model.Zone
 	Version model.Version
-	// DrainedVersion is the version up to which the process has completed all
+	// DrainedVersion is the table version up to which the process has confirmed all
 	// releases of instances.
 	DrainedVersion model.Version
 	// LastReport is the time of the last report of the process; 0 means never.
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -43,8 +43,9 @@
 // WaveProgress describes the progress of a declared maintenance.
 type WaveProgress struct {
 	Name string
-	// Maintained and Selected are the number of instances that have returned
-	// from the maintenance and the number of instances that it selects.
+	// Selected is the number of instances that the maintenance selects. Maintained
+	// is the number of those that have returned from it; instances that were
+	// enrolled after the declaration count as maintained.
 	Maintained int
 	Selected   int
 	// Elapsed is the time from the declaration until the last instance returned
@@ -114,8 +115,9 @@
 	return times[len(times)/2], times[len(times)-1]
 }
 
-// measureWave counts the instances that a declared maintenance selects and those
-// that have returned from it. Retired instances are not counted.
+// measureWave counts the instances that a declared maintenance selects and those of
+// them that were maintained or enrolled since the declaration. Retired instances are
+// not counted.
 func measureWave(state CurrentState, m model.Maintenance) WaveProgress {
 	w := WaveProgress{Name: m.Name}
 	last := m.DeclaredAt
