Name conditions and counts of maint, route and fleet for what they hold

maint wave.count -> addPending (planner.count is another thing), last -> latestStart, free -> allowedNow; route unblock -> unblockIfDrained (it is conditional); ExpiringMap.next -> lastID (it holds the last ID). Comments: drained -> release confirmed, as the field; the first retry token; segment.first; ObstacleNotAnnounced also covers leaving upstreams.

--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -146,6 +146,7 @@
 	if cs == nil {
 		cs = &CustomerState[R]{Name: name, queues: map[model.Pool]*Queue[R]{}}
 		if share.RetryPercent > 0 {
+			// One retry is allowed before first attempts have earned a token.
 			cs.RetryTokens = 1
 		}
 		c.customers[name] = cs
--- a/core/state/fleet/expiring_map.go
+++ b/core/state/fleet/expiring_map.go
@@ -14,7 +14,9 @@
 	// removed or put again are stale; they stay until they reach the front or
 	// compact drops them.
 	order []orderedKey[K]
-	next  uint64
+	// lastID is the ID of the last Put. By its ID, an entry of order is recognized as
+	// current or stale.
+	lastID uint64
 }
 
 type mapEntry[V any] struct {
@@ -47,9 +49,9 @@
 // Put sets the value of a key, starts its lifetime at now, and drops expired
 // entries.
 func (m *ExpiringMap[K, V]) Put(k K, v V, now clock.Millis) {
-	m.next++
-	m.items[k] = mapEntry[V]{value: v, time: now, id: m.next}
-	m.order = append(m.order, orderedKey[K]{key: k, id: m.next, time: now})
+	m.lastID++
+	m.items[k] = mapEntry[V]{value: v, time: now, id: m.lastID}
+	m.order = append(m.order, orderedKey[K]{key: k, id: m.lastID, time: now})
 	m.Expire(now)
 	m.compact()
 }
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -21,7 +21,7 @@
 		}
 	}
 	for _, w := range it.pendingIn {
-		w.count(it.inst, -1)
+		w.addPending(it.inst, -1)
 	}
 	if pl.inProgress[it.inst.ID] != nil {
 		delete(pl.inProgress, it.inst.ID)
@@ -108,7 +108,7 @@
 		if len(w.pending) == 0 {
 			pl.wavesToCheck[w.decl.Name] = true
 		}
-		w.count(it.inst, 1)
+		w.addPending(it.inst, 1)
 		if it.wave == nil || deadline < it.deadline {
 			it.wave, it.deadline = w, deadline
 		}
--- a/core/state/maint/deadline_check.go
+++ b/core/state/maint/deadline_check.go
@@ -57,15 +57,15 @@
 			uncovered += n
 		}
 	}
-	if last := w.decl.Deadline - pl.settings.MaintenanceMillis; uncovered > 0 && now > last {
+	if latestStart := w.decl.Deadline - pl.settings.MaintenanceMillis; uncovered > 0 && now > latestStart {
 		w.unmet = append(w.unmet, UnmetDeadline{
 			Wave: w.decl.Name, Remaining: uncovered, Deadline: w.decl.Deadline, Estimate: now + pl.settings.MaintenanceMillis,
 			Reason: "instances of pools without a contract still have to be maintained",
 		})
 	}
-	last := w.decl.Deadline - pl.settings.MaintenanceMillis
-	if now < last {
-		return min(last, now+max(pl.settings.MaintenanceMillis, (last-now)/8))
+	latestStart := w.decl.Deadline - pl.settings.MaintenanceMillis
+	if now < latestStart {
+		return min(latestStart, now+max(pl.settings.MaintenanceMillis, (latestStart-now)/8))
 	}
 	return now + max(pl.settings.MaintenanceMillis/4, 1)
 }
@@ -175,9 +175,9 @@
 	if perWindow == 0 {
 		return 0, fmt.Sprintf("the window budget of %d ms is shorter than one maintenance of %d ms", cs.contract.BudgetMillis, pl.settings.MaintenanceMillis)
 	}
-	free := max(0, int((cs.contract.BudgetMillis-cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages))/pl.settings.MaintenanceMillis))
-	if remaining > free {
-		windows := (remaining - free + perWindow - 1) / perWindow
+	allowedNow := max(0, int((cs.contract.BudgetMillis-cs.windowUsed(now, pl.settings.MaintenanceMillis, pl.outages))/pl.settings.MaintenanceMillis))
+	if remaining > allowedNow {
+		windows := (remaining - allowedNow + perWindow - 1) / perWindow
 		end = max(end, now+clock.Millis(windows)*cs.contract.WindowMillis+pl.settings.MaintenanceMillis)
 		reason = fmt.Sprintf("%d instances, of which the budget allows %d in each window of %d ms", remaining, perWindow, cs.contract.WindowMillis)
 	}
@@ -227,11 +227,11 @@
 		unmet := UnmetDeadline{Wave: Periodic, Pool: p, Reason: "due instances of the pool did not start in time"}
 		for _, r := range pl.dueByPool[p].racks {
 			for _, it := range r.items {
-				last := it.deadline - pl.settings.MaintenanceMillis
+				latestStart := it.deadline - pl.settings.MaintenanceMillis
 				switch {
 				case it.wave != w:
-				case now < last:
-					next = min(next, last)
+				case now < latestStart:
+					next = min(next, latestStart)
 				default:
 					unmet.Remaining++
 					unmet.Deadline = it.deadline
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -91,8 +91,8 @@
 const (
 	// StepRelease moves a serving instance to releasing: it gets no new requests.
 	StepRelease StepKind = "release"
-	// StepHandOver moves a drained instance from releasing to maintenance: from
-	// then on the platform may reboot it.
+	// StepHandOver moves an instance whose release is confirmed from releasing to
+	// maintenance: from then on the platform may reboot it.
 	StepHandOver StepKind = "hand-over"
 	// StepVerify probes the health of the restarted instance.
 	StepVerify StepKind = "verify"
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -76,8 +76,8 @@
 
 // planReleasing returns the step of a releasing instance: back to service if its
 // release is no longer allowed, for example after an unplanned loss, or over to
-// the platform once it is drained. takenBack counts the releases taken back in
-// this pass, by customer. The kind is empty while the instance has to wait.
+// the platform once its release is confirmed. takenBack counts the releases taken
+// back in this pass, by customer. The kind is empty while the instance has to wait.
 func (pl *Planner[P, S]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
 	reason := pl.takeBackReason(it, now, takenBack)
 	if reason != "" {
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -167,6 +167,8 @@
 	}
 }
 
+// ensureItem returns the item of an instance, creating it if needed. A new item counts
+// as retired until SetInstance sets its state.
 func (pl *Planner[P, S]) ensureItem(id model.InstanceID) *item {
 	it := pl.items[id]
 	if it == nil {
@@ -212,7 +214,8 @@
 	pl.recheckAllWaves()
 }
 
-// uncountPool removes the instances of the pool from all counts until the next pass.
+// uncountPool removes the instances of the pool from all counts. The next pass counts
+// them again and evaluates the pool.
 func (pl *Planner[P, S]) uncountPool(p model.Pool) {
 	pl.poolsToCheck[p] = true
 	for _, it := range pl.itemsByPool[p] {
@@ -220,6 +223,7 @@
 	}
 }
 
+// recheckAllWaves marks the deadlines of all waves for a check in the next pass.
 func (pl *Planner[P, S]) recheckAllWaves() {
 	for _, n := range pl.waveNames {
 		pl.wavesToCheck[n] = true
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -57,7 +57,9 @@
 	return &wave{decl: m, pending: map[group]int{}, byPool: map[model.Pool]int{}}
 }
 
-func (w *wave) count(i model.Instance, n int) {
+// addPending adds n to the number of pending instances of the instance's group and
+// pool.
+func (w *wave) addPending(i model.Instance, n int) {
 	g := groupOf(i)
 	w.pending[g] += n
 	if w.pending[g] == 0 {
--- a/core/state/model/change.go
+++ b/core/state/model/change.go
@@ -65,7 +65,7 @@
 	Instance Instance
 }
 
-// ClaimKey is the scope of an idempotency key.
+// ClaimKey is an idempotency key with its scope, the customer and the service.
 type ClaimKey struct {
 	Customer Customer
 	Service  Pool
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -14,7 +14,7 @@
 		return 0
 	}
 	before, u.Lent = u.Lent, lent
-	r.unblock(u)
+	r.unblockIfDrained(u)
 	r.dropUnused(u)
 	return before
 }
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -329,7 +329,7 @@
 	u.Running--
 	if res.Generation != u.Generation && u.RunningOfEarlierGenerations > 0 {
 		u.RunningOfEarlierGenerations--
-		r.unblock(u)
+		r.unblockIfDrained(u)
 	}
 	if res.Generation == u.Generation && res.Incarnation == u.Incarnation && u.Pool != "" {
 		ejected = r.recordOutcome(now, u, o)
@@ -338,9 +338,9 @@
 	return ejected
 }
 
-// unblock allows the blocked release of an upstream to be confirmed once no request
-// of an earlier generation and no loan uses the instance.
-func (r *Router[P]) unblock(u *Upstream) {
+// unblockIfDrained allows the blocked release of an upstream to be confirmed if no
+// request of an earlier generation and no loan uses the instance any more.
+func (r *Router[P]) unblockIfDrained(u *Upstream) {
 	if u.RunningOfEarlierGenerations == 0 && u.Lent == 0 {
 		u.BlockedReleaseVersion = 0
 		delete(r.blocked, u.Instance)
--- a/core/state/route/upstream.go
+++ b/core/state/route/upstream.go
@@ -73,7 +73,8 @@
 	// end, which resets Score. Until then the score that led to the ejection is kept
 	// for the comparison with peers; requests still in flight go on to change it.
 	ScoreResetPending bool
-	// ConsecutiveEjections determines the duration of the next ejection.
+	// ConsecutiveEjections is the number of ejections since the last reset by
+	// recordOutcome. It determines the duration of the next ejection.
 	ConsecutiveEjections int
 	// tableEntry, inTable, announcement and leaseHeld are the inputs of
 	// routablePool.
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -23,6 +23,7 @@
 // segment is one file of the log. Segments are contiguous and do not overlap.
 // Records are appended only to the last one.
 type segment struct {
+	// first is the index of the first entry; the file name contains it.
 	first uint64
 	// last is the index of the last entry; first-1 while the segment is empty.
 	last uint64
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -102,7 +102,7 @@
 	Advice Advice
 }
 
-// ObstacleKind is the type of an obstacle.
+// ObstacleKind is the kind of an obstacle.
 type ObstacleKind string
 
 // The kinds of obstacle.
@@ -119,7 +119,8 @@
 	// ObstacleMaintenanceDue means that a declared maintenance of the instance
 	// has not started yet.
 	ObstacleMaintenanceDue ObstacleKind = "maintenance-due"
-	// ObstacleNotAnnounced means that the instance was last reported as gone.
+	// ObstacleNotAnnounced means that the upstream of the instance was last reported
+	// as gone or leaving.
 	ObstacleNotAnnounced ObstacleKind = "not-announced"
 	// ObstacleEjected means that the instance was last reported as ejected
 	// because of failures.
