--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -287,7 +287,8 @@
 	pl.recheckPoolsOfCustomer(cs)
 }
 
-// recheckPoolsOfCustomer marks the pools of the customer for evaluation in the next pass.
+// recheckPoolsOfCustomer marks the pools of the customer for evaluation in the next
+// pass.
 func (pl *Planner[P, S]) recheckPoolsOfCustomer(cs *customerState) {
 	for _, p := range cs.pools {
 		pl.poolsToCheck[p] = true
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -102,9 +102,9 @@
 }
 
 // periodEnd returns the time by which periodic maintenance of the instance is
-// required next. Instances that were not maintained or enrolled since PeriodicStart are
-// spread evenly by a hash of their ID, so that their first periods do not all end at the
-// same time.
+// required next. Instances that were not maintained or enrolled since PeriodicStart
+// are spread evenly by a hash of their ID, so that their first periods do not all
+// end at the same time.
 func (s Settings) periodEnd(i model.Instance) clock.Millis {
 	if i.MaintainedAt >= s.PeriodicStart && i.MaintainedAt > 0 {
 		return i.MaintainedAt + s.PeriodMillis
--- a/core/state/raft/snapshot.go
+++ b/core/state/raft/snapshot.go
@@ -117,8 +117,9 @@
 	n.send(Message{Kind: MsgAppendReply, To: from, Term: n.term, Index: meta.Index})
 }
 
-// Compact tells the node that a snapshot up to meta.Index is durable. It removes the entries that the snapshot covers from the log, except the
-// last KeepEntries of them.
+// Compact tells the node that a snapshot up to meta.Index is durable. It removes
+// the entries that the snapshot covers from the log, except the last KeepEntries of
+// them.
 func (n *Node) Compact(meta SnapshotMeta) {
 	if meta.Index <= n.snapshotIndex || meta.Index > n.applied {
 		return
