Rename package roster of core/coord to fanout

The package holds a Forwarder and no roster; package member in core/state has the Roster. The field roster of the entry role is forwarder now.

Checked: go build ./...

--- a/core/coord/roster/forwarder.go
+++ b/core/coord/fanout/forwarder.go
@@ -1,4 +1,4 @@
-package roster
+package fanout
 
 import (
 	"context"
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -12,10 +12,10 @@
 
 	"camphorridge/core/coord/claim"
 	"camphorridge/core/coord/entry"
+	"camphorridge/core/coord/fanout"
 	"camphorridge/core/coord/follow"
 	"camphorridge/core/coord/lender"
 	"camphorridge/core/coord/record"
-	"camphorridge/core/coord/roster"
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/lend"
@@ -49,22 +49,22 @@
 
 // Entry is a running entry process.
 type Entry struct {
-	cfg      conf.Entry
-	clock    clock.Clock
-	log      *log.Logger
-	recorder *record.Recorder
-	dispatch *dispatcher
-	client   *peers.Client
-	poller   *follow.Poller[*peers.Client]
-	reporter *follow.Reporter[*peers.LeaderClient]
-	roster   *roster.Forwarder[*peers.Client]
-	claimer  *claim.Claimer[*peers.LeaderClient]
-	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
-	link     *uplink.Client
-	timed    *timedDispatcher
-	front    *front.Handler[*timedDispatcher, *claim.Claimer[*peers.LeaderClient]]
-	events   *ring.Ring[model.Event]
-	leaving  atomic.Bool
+	cfg       conf.Entry
+	clock     clock.Clock
+	log       *log.Logger
+	recorder  *record.Recorder
+	dispatch  *dispatcher
+	client    *peers.Client
+	poller    *follow.Poller[*peers.Client]
+	reporter  *follow.Reporter[*peers.LeaderClient]
+	forwarder *fanout.Forwarder[*peers.Client]
+	claimer   *claim.Claimer[*peers.LeaderClient]
+	lender    *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
+	link      *uplink.Client
+	timed     *timedDispatcher
+	front     *front.Handler[*timedDispatcher, *claim.Claimer[*peers.LeaderClient]]
+	events    *ring.Ring[model.Event]
+	leaving   atomic.Bool
 }
 
 // RunEntry runs an entry process until a signal stops it, and writes its log to
@@ -110,7 +110,7 @@
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.applyDelta, clk)
 	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.LoadReport, e.dispatch.Demand, clk)
-	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
+	e.forwarder = fanout.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, incarnation, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
 	e.lender = lender.New(loanMessages, cfg.Entries, e.client, e.dispatch, e.link, clk)
@@ -165,7 +165,7 @@
 	if err := e.dispatch.Announce(a); err != nil {
 		return peers.AnnounceResult{}, err
 	}
-	e.roster.Forward(a)
+	e.forwarder.Forward(a)
 	got := peers.AnnounceResult{Lease: e.cfg.Limits.LeaseMillis}
 	if i, ok := e.dispatch.Instance(a.Instance); ok {
 		got.Pool = i.Pool
@@ -208,7 +208,7 @@
 	addServer(g, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce), peerStopTimeout)
 	addComponent(g, e.poller)
 	addComponent(g, e.reporter)
-	addComponent(g, e.roster)
+	addComponent(g, e.forwarder)
 	addComponent(g, e.claimer)
 	addComponent(g, e.lender)
 	addComponent(g, e.link)
@@ -321,7 +321,7 @@
 		{"responses-without-end", func() int64 { return e.link.Counts().Framing }},
 		{"probes-failed", func() int64 { return e.link.Counts().ProbesFailed }},
 		{"claims-refused", e.claimer.Refused},
-		{"announcements-not-forwarded", e.roster.Refused},
+		{"announcements-not-forwarded", e.forwarder.Refused},
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	registerCounters(r, processCounters(e.client.Traffic))
