Name the drained version DrainedVersion everywhere in coord

The version up to which a process has carried out all releases was called Drained in entry, follow and mover, and DrainedVersion in route and trail. Names on the wire stay.

Checked: go build ./..., go vet ./core/coord/...

--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -95,9 +95,12 @@
 	return c.updates, c.since
 }
 
-// Drained returns the drained version: the highest version of the table such that
-// no request in flight and no loan uses an instance released at or below it.
-func (d *Dispatcher[P, Q, L]) Drained() model.Version { return model.Version(d.drainedCopy.Load()) }
+// DrainedVersion returns the version of the table up to which this process has
+// carried out all releases: the highest such that no request in flight and no loan
+// uses an instance released at or below it.
+func (d *Dispatcher[P, Q, L]) DrainedVersion() model.Version {
+	return model.Version(d.drainedVersionCopy.Load())
+}
 
 // Ready reports whether requests are admitted: a table was applied, and it was
 // confirmed after the last pause of this process.
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -256,12 +256,12 @@
 // status returns a copy of the state.
 func (d *Dispatcher[P, Q, L]) status() Status {
 	s := Status{
-		Version: d.table.Version,
-		Drained: d.router.DrainedVersion(),
-		Ready:   d.ready,
-		Pauses:  d.announcements.Pauses,
-		Counts:  d.counts,
-		Loans:   d.loans.Counts,
+		Version:        d.table.Version,
+		DrainedVersion: d.router.DrainedVersion(),
+		Ready:          d.ready,
+		Pauses:         d.announcements.Pauses,
+		Counts:         d.counts,
+		Loans:          d.loans.Counts,
 	}
 	d.admission.EachCustomer(func(a *admit.CustomerState[*pendingRequest]) {
 		s.Customers = append(s.Customers, CustomerStatus{
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -86,14 +86,14 @@
 	done        chan struct{}
 	stop        sync.Once
 	requestPool sync.Pool
-	// drainedCopy and readyCopy are copies of the router's DrainedVersion and of
-	// ready for other goroutines.
-	drainedCopy   atomic.Uint64
-	readyCopy     atomic.Bool
-	admission     *admit.Controller[P, *pendingRequest]
-	router        *route.Router[Q]
-	announcements *member.Roster
-	loans         *lend.Ledger[L]
+	// drainedVersionCopy and readyCopy are copies of the router's DrainedVersion and
+	// of ready for other goroutines.
+	drainedVersionCopy atomic.Uint64
+	readyCopy          atomic.Bool
+	admission          *admit.Controller[P, *pendingRequest]
+	router             *route.Router[Q]
+	announcements      *member.Roster
+	loans              *lend.Ledger[L]
 	// borrowing records for each pool whether slots were borrowed when
 	// reportBorrowing last ran.
 	borrowing map[model.Pool]bool
@@ -203,7 +203,7 @@
 
 // publish updates the values that other goroutines read without a message.
 func (d *Dispatcher[P, Q, L]) publish() {
-	d.drainedCopy.Store(uint64(d.router.DrainedVersion()))
+	d.drainedVersionCopy.Store(uint64(d.router.DrainedVersion()))
 	d.readyCopy.Store(d.ready)
 }
 
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -194,12 +194,12 @@
 // against confirming a release while a request still uses the instance.
 func TestTableAndDrained(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
-	assert.Equal(t, d.Drained(), model.Version(5))
+	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	g := mustAsk(t, d)
 	i := instance(g.Upstream.Instance, 1)
 	i.Phase, i.Version = model.PhaseReleasing, 8
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
-	assert.Equal(t, d.Drained(), model.Version(7))
+	assert.Equal(t, d.DrainedVersion(), model.Version(7))
 	var e *Error
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
@@ -207,12 +207,12 @@
 	other := mustAsk(t, d)
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.DrainedVersion() == 8 }, d)
 	// A full delta without the instance in use releases it.
 	assert.NilError(t, d.ApplyDelta(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
-	assert.Equal(t, d.Drained(), model.Version(8))
+	assert.Equal(t, d.DrainedVersion(), model.Version(8))
 	d.Done(other.Ticket, OutcomeOK, 1)
-	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.DrainedVersion() == 12 }, d)
 }
 
 // TestPauseRequiresConfirmedTable guards against a suspended process that resumes
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -54,10 +54,10 @@
 	assert.NilError(t, d.Announce(a))
 	request := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
 	assert.Equal(t, len(d.Lend(request).Loans), 0)
-	assert.Equal(t, d.Drained(), model.Version(0))
+	assert.Equal(t, d.DrainedVersion(), model.Version(0))
 	nextMessage(messages, lend.MessageRecall)
 	d.HandleRecallAck("e2")
-	assert.Equal(t, d.Drained(), model.Version(5))
+	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	g := mustAsk(t, d)
 	assert.Equal(t, g.Upstream.Connections, 4)
 	loans := d.Lend(request).Loans
@@ -68,11 +68,11 @@
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
-	assert.Equal(t, d.Drained(), model.Version(5))
+	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	renew := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
 	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
 	d.HandleReturn(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
-	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.DrainedVersion() == 6 }, d)
 }
 
 // TestBorrowerServesOnALoan guards against a process without upstreams that refuses
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -166,9 +166,9 @@
 // Status is a copy of the dispatcher's state.
 type Status struct {
 	Version model.Version
-	// Drained is the drained version; see Dispatcher.Drained.
-	Drained model.Version
-	Ready   bool
+	// DrainedVersion is as Dispatcher.DrainedVersion returns it.
+	DrainedVersion model.Version
+	Ready          bool
 	// Pauses counts the detected pauses of this process.
 	Pauses    int
 	Counts    Counts
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -31,9 +31,10 @@
 	Incarnation uint64
 	// Version is the version of the table in force.
 	Version model.Version
-	// Drained is the drained version: no request in flight and no loan uses an
-	// instance released at or below it.
-	Drained model.Version
+	// DrainedVersion is the version of the table up to which the process has carried
+	// out all releases: no request in flight and no loan uses an instance released at
+	// or below it.
+	DrainedVersion model.Version
 	// Live lists the announcements that are new or changed since the last report, or
 	// all of them for a new leader.
 	Live []model.Announcement
@@ -48,8 +49,8 @@
 
 // Status is the state of the process that the reporter reports.
 type Status struct {
-	Version model.Version
-	Drained model.Version
+	Version        model.Version
+	DrainedVersion model.Version
 	// Live returns the announcements whose lease has not expired. It is called only
 	// for a report, because its cost is proportional to the number of upstreams.
 	Live func() []model.Announcement
@@ -75,9 +76,9 @@
 	clock          clock.Clock
 	done           chan struct{}
 	// reported holds the announcements that were last reported.
-	reported     map[model.InstanceID]model.Announcement
-	lastDrained  model.Version
-	lastReportAt clock.Millis
+	reported           map[model.InstanceID]model.Announcement
+	lastDrainedVersion model.Version
+	lastReportAt       clock.Millis
 	// complete is set once the leader of the current term has all announcements. A
 	// failed report or a new term clears it, because the leader may then have none of
 	// them.
@@ -113,7 +114,7 @@
 func (r *Reporter[R]) tick() {
 	s := r.status()
 	now := r.clock.Now()
-	if s.Drained == r.lastDrained && now-r.lastReportAt < ReportInterval {
+	if s.DrainedVersion == r.lastDrainedVersion && now-r.lastReportAt < ReportInterval {
 		return
 	}
 	rep := r.newReport(s)
@@ -133,7 +134,7 @@
 	}
 	r.complete = full || term == r.term
 	r.term = term
-	r.lastDrained = s.Drained
+	r.lastDrainedVersion = s.DrainedVersion
 	for _, a := range rep.Live {
 		r.reported[a.Instance] = a
 	}
@@ -147,7 +148,7 @@
 func (r *Reporter[R]) newReport(s Status) Report {
 	rep := Report{
 		Process: r.self.Name, Zone: r.self.Zone, Incarnation: r.incarnation,
-		Version: s.Version, Drained: s.Drained,
+		Version: s.Version, DrainedVersion: s.DrainedVersion,
 	}
 	all := s.Live()
 	live := make(map[model.InstanceID]bool, len(all))
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -215,9 +215,9 @@
 	// the term would discard the report, and entry processes report an unchanged
 	// instance only once in a term.
 	m.followTerm()
-	drainedBefore := m.registry.Processes[i.report.Process].Drained
+	drainedVersionBefore := m.registry.Processes[i.report.Process].DrainedVersion
 	m.registry.AddReport(*i.report, m.Clock.Now())
 	m.load.add(i.report.Load)
 	m.Capacity.RecordDemand(i.report.Process, i.report.Demand, m.Clock.Now())
-	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != drainedBefore
+	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.DrainedVersion != drainedVersionBefore
 }
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -57,8 +57,8 @@
 	mover    *testMover
 	// live holds the announcements that both entry processes report.
 	live map[model.InstanceID]model.Announcement
-	// drained overrides the drained version that an entry process reports.
-	drained map[model.Process]model.Version
+	// drainedVersions overrides the drainedVersions version that an entry process reports.
+	drainedVersions map[model.Process]model.Version
 	// suspended is the entry process that does not report; empty for none.
 	suspended model.Process
 	events    []model.Event
@@ -68,9 +68,9 @@
 	clk := clock.NewFake(1_000_000)
 	s := &simulation{
 		t: t, clock: clk, platform: &fakePlatform{},
-		group:   &fakeGroup{state: fleet.New(), clock: clk, term: 1, leads: true},
-		live:    map[model.InstanceID]model.Announcement{},
-		drained: map[model.Process]model.Version{},
+		group:           &fakeGroup{state: fleet.New(), clock: clk, term: 1, leads: true},
+		live:            map[model.InstanceID]model.Announcement{},
+		drainedVersions: map[model.Process]model.Version{},
 	}
 	entries := []model.Member{{Name: "e1", Zone: "za"}, {Name: "e2", Zone: "za"}}
 	settings := maint.Settings{MaintenanceMillis: 10_000, CanaryMillis: 1000, StuckMillis: 60_000, PacerRetryMillis: 1000}
@@ -114,9 +114,9 @@
 			if p == s.suspended {
 				continue
 			}
-			r := follow.Report{Process: p, Zone: "za", Incarnation: 1, Version: s.group.state.Version, Drained: s.group.state.Version}
-			if v, ok := s.drained[p]; ok {
-				r.Drained = v
+			r := follow.Report{Process: p, Zone: "za", Incarnation: 1, Version: s.group.state.Version, DrainedVersion: s.group.state.Version}
+			if v, ok := s.drainedVersions[p]; ok {
+				r.DrainedVersion = v
 			}
 			for _, a := range s.live {
 				r.Live = append(r.Live, a)
@@ -139,7 +139,7 @@
 func TestRepairWaitsForEveryEntry(t *testing.T) {
 	s := newSimulation(t)
 	assert.Equal(t, len(s.group.state.Instances), 8)
-	s.drained["e2"] = s.group.state.Version
+	s.drainedVersions["e2"] = s.group.state.Version
 	delete(s.live, "i0")
 	s.run(20 * clock.Second)
 	assert.Assert(t, s.instance("i0").LostSince != 0)
@@ -155,7 +155,7 @@
 	s.run(60 * clock.Second)
 	assert.Equal(t, s.instance(moved).Pool, model.Pool("portal"), "e2 has not confirmed")
 	assert.DeepEqual(t, s.mover.waits[0].Unconfirmed, []model.Process{"e2"})
-	delete(s.drained, "e2")
+	delete(s.drainedVersions, "e2")
 	s.run(3 * clock.Second)
 	assert.Equal(t, s.instance(moved).Pool, model.Pool("merge"))
 	assert.Equal(t, s.instance(moved).Phase, model.PhaseServing)
@@ -271,7 +271,7 @@
 // against retiring an instance while an existing process has not confirmed.
 func TestRetirementAfterProcessGone(t *testing.T) {
 	s := newSimulation(t)
-	s.drained["e2"] = s.group.state.Version
+	s.drainedVersions["e2"] = s.group.state.Version
 	i := s.instance("i0")
 	i.Phase, i.Target = model.PhaseReleasing, model.PoolNone
 	propose := func(c model.Change) {
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -18,8 +18,9 @@
 	Zone        model.Zone
 	Incarnation uint64
 	Version     model.Version
-	// Drained is the drained version; see follow.Report.
-	Drained model.Version
+	// DrainedVersion is the version up to which the process has carried out all
+	// releases; see follow.Report.
+	DrainedVersion model.Version
 	// VersionSince is the time at which the leader first received Version.
 	VersionSince clock.Millis
 	// LastReportAt is the time of the latest report.
@@ -87,7 +88,7 @@
 	if r.Version != latest.Version {
 		latest.Version, latest.VersionSince = r.Version, now
 	}
-	latest.Drained = r.Drained
+	latest.DrainedVersion = r.DrainedVersion
 	latest.LastReportAt = now
 	g.Processes[r.Process] = latest
 	if g.SilentProcesses[r.Process] {
@@ -203,7 +204,7 @@
 		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
 			continue
 		}
-		if !ok || r.Drained < v {
+		if !ok || r.DrainedVersion < v {
 			missing = append(missing, m.Name)
 		}
 	}
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -203,7 +203,7 @@
 func reportToWire(r follow.Report) *wirepb.ReportRequest {
 	w := &wirepb.ReportRequest{
 		Process: string(r.Process), Zone: string(r.Zone), Incarnation: r.Incarnation,
-		Version: uint64(r.Version), Drained: uint64(r.Drained),
+		Version: uint64(r.Version), Drained: uint64(r.DrainedVersion),
 	}
 	for _, a := range r.Live {
 		w.Live = append(w.Live, codec.AnnouncementToWire(a))
@@ -230,7 +230,7 @@
 	r := follow.Report{
 		Process: model.Process(w.GetProcess()), Zone: model.Zone(w.GetZone()),
 		Incarnation: w.GetIncarnation(),
-		Version:     model.Version(w.GetVersion()), Drained: model.Version(w.GetDrained()),
+		Version:     model.Version(w.GetVersion()), DrainedVersion: model.Version(w.GetDrained()),
 	}
 	for _, wa := range w.GetLive() {
 		a, err := codec.AnnouncementFromWire(wa)
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -275,7 +275,7 @@
 	for _, p := range st.Processes {
 		w.Processes = append(w.Processes, &wirepb.ProcessStatus{
 			Name: string(p.Process), Zone: string(p.Zone), Version: uint64(p.Version),
-			Drained: uint64(p.Drained), SinceMs: int64(p.VersionSince), SeenMs: int64(p.LastReportAt),
+			Drained: uint64(p.DrainedVersion), SinceMs: int64(p.VersionSince), SeenMs: int64(p.LastReportAt),
 			Incarnation: p.Incarnation,
 		})
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -155,7 +155,7 @@
 
 func (e *Entry) status() follow.Status {
 	return follow.Status{
-		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.LiveAnnouncements,
+		Version: e.poller.Version(), DrainedVersion: e.dispatch.DrainedVersion(), Live: e.dispatch.LiveAnnouncements,
 	}
 }
 
