Rename in mover, entry, follow and record what its name misled about

The parameters since that take a sequence number are afterSeq, because other ...Since fields are times.

--- a/core/coord/entry/bench_test.go
+++ b/core/coord/entry/bench_test.go
@@ -44,7 +44,7 @@
 	})
 	b.StopTimer()
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "asks/s")
-	assert.Equal(b, d.Snapshot().Counts.Completed, int64(b.N))
+	assert.Equal(b, d.Status().Counts.Completed, int64(b.N))
 }
 
 // BenchmarkRefuse measures requests that are refused because the queue is full.
--- a/core/coord/entry/calls.go
+++ b/core/coord/entry/calls.go
@@ -88,11 +88,11 @@
 }
 
 // AnnouncementsSince returns the announcements that were received from upstreams
-// themselves after the sequence number since, for use by neighbours, and the
+// themselves after the sequence number afterSeq, for use by neighbours, and the
 // sequence number to continue from.
-func (d *Dispatcher[P, Q, L]) AnnouncementsSince(since uint64) ([]member.ReceivedAnnouncement, uint64) {
-	c := d.call(&command{op: opAnnouncementsSince, since: since})
-	return c.updates, c.since
+func (d *Dispatcher[P, Q, L]) AnnouncementsSince(afterSeq uint64) ([]member.ReceivedAnnouncement, uint64) {
+	c := d.call(&command{op: opAnnouncementsSince, afterSeq: afterSeq})
+	return c.updates, c.afterSeq
 }
 
 // DrainedVersion returns the version of the table up to which this process has
@@ -106,9 +106,9 @@
 // confirmed after the last pause of this process.
 func (d *Dispatcher[P, Q, L]) Ready() bool { return d.readyCopy.Load() }
 
-// Snapshot returns a copy of the state. Its cost is proportional to the number of
+// Status returns a copy of the state. Its cost is proportional to the number of
 // customers and upstreams.
-func (d *Dispatcher[P, Q, L]) Snapshot() Status {
+func (d *Dispatcher[P, Q, L]) Status() Status {
 	s := d.call(&command{op: opStatus}).status
 	s.Counts.RingRefused = d.in.Refused()
 	return s
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -34,11 +34,13 @@
 	op           opKind
 	delta        model.Delta
 	announcement member.ReceivedAnnouncement
-	since        uint64
-	updates      []member.ReceivedAnnouncement
-	status       Status
-	table        model.Table
-	err          error
+	// afterSeq is a sequence number of announcements: the one after which updates
+	// start and, after the command has been executed, the one to continue from.
+	afterSeq uint64
+	updates  []member.ReceivedAnnouncement
+	status   Status
+	table    model.Table
+	err      error
 	// instance holds the ID to look up and, after the command has been executed,
 	// the instance as the table has it; found is false when the table doesn't.
 	instance          model.Instance
@@ -60,7 +62,7 @@
 	case opReceiveAnnouncement:
 		c.err = d.receiveAnnouncement(now, c.announcement)
 	case opAnnouncementsSince:
-		c.updates, c.since = d.announcements.UpdatesSince(now, c.since)
+		c.updates, c.afterSeq = d.announcements.UpdatesSince(now, c.afterSeq)
 	case opStatus:
 		c.status = d.status()
 	case opTable:
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -72,7 +72,7 @@
 func waitUntil(t testing.TB, what string, ok func(Status) bool, d *testDispatcher) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if ok(d.Snapshot()) {
+		if ok(d.Status()) {
 			return poll.Success()
 		}
 		return poll.Continue("waiting: %s", what)
@@ -114,7 +114,7 @@
 	}
 	wg.Wait()
 	waitUntil(t, "all ended", func(s Status) bool { return s.Counts.Completed == s.Counts.Grants }, d)
-	s := d.Snapshot()
+	s := d.Status()
 	assert.Equal(t, s.Customers[0].Running+s.Customers[0].Waiting, 0)
 	for _, u := range s.Upstreams {
 		assert.Equal(t, u.Running, 0)
@@ -246,9 +246,9 @@
 	c := contract("acme", 0, 1)
 	c.Pools[0].Instances = 3
 	d := start(t, 4, c)
-	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12)
+	assert.Equal(t, d.Status().Customers[0].InFlightLimit, 12)
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12, "the smallest instance counts")
+	assert.Equal(t, d.Status().Customers[0].InFlightLimit, 12, "the smallest instance counts")
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 18)
+	assert.Equal(t, d.Status().Customers[0].InFlightLimit, 18)
 }
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -198,7 +198,7 @@
 	if l := r.loan; l != nil {
 		return Upstream{
 			Instance: l.Instance, Address: l.Address, Incarnation: l.Incarnation, HealthPath: l.HealthPath,
-			Connections: l.Connections, LoanName: l.ConnectionName(), WriteDeadline: deadline,
+			Connections: l.Connections, ConnectionName: l.ConnectionName(), WriteDeadline: deadline,
 		}
 	}
 	u := r.own.Upstream
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -63,7 +63,7 @@
 	loans := d.Lend(request).Loans
 	assert.Equal(t, len(loans), 1)
 	assert.Equal(t, loans[0].Slots, 3)
-	assert.Equal(t, d.Snapshot().Upstreams[0].Lent, 3)
+	assert.Equal(t, d.Status().Upstreams[0].Lent, 3)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
@@ -89,12 +89,12 @@
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
-	assert.Assert(t, g.Upstream.LoanName != "" && g.Upstream.WriteDeadline == 1<<60)
+	assert.Assert(t, g.Upstream.ConnectionName != "" && g.Upstream.WriteDeadline == 1<<60)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
 	_, refusal := ask(t.Context(), d)
 	assert.Equal(t, refusal.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
+	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.ConnectionName})
 }
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -86,9 +86,10 @@
 	HealthPath  string
 	// Connections is this process's share of the upstream's connections; at least 1.
 	Connections int
-	// LoanName is the name of the loan that the slot belongs to; empty for a slot
-	// of this process's own share. Each loan has connections of its own.
-	LoanName string
+	// ConnectionName is the name of the connections of the loan that the slot belongs
+	// to; empty for a slot of this process's own share. Each loan has connections of
+	// its own.
+	ConnectionName string
 	// WriteDeadline is the time from which no byte of the request may be written; 0
 	// means no limit and is set for a slot of this process's own share.
 	WriteDeadline clock.Millis
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -35,9 +35,9 @@
 	// out all releases: no request in flight and no loan uses an instance released at
 	// or below it.
 	DrainedVersion model.Version
-	// Live lists the announcements that are new or changed since the last report, or
-	// all of them for a new leader.
-	Live []model.Announcement
+	// Changed lists the announcements that are new or changed since the last report,
+	// or all of them when the leader may not have them.
+	Changed []model.Announcement
 	// Gone lists the instances that were announced at the last report and no longer
 	// are.
 	Gone []model.InstanceID
@@ -51,9 +51,10 @@
 type Status struct {
 	Version        model.Version
 	DrainedVersion model.Version
-	// Live returns the announcements whose lease has not expired. It is called only
-	// for a report, because its cost is proportional to the number of upstreams.
-	Live func() []model.Announcement
+	// LiveAnnouncements returns the announcements whose lease has not expired. It is
+	// called only for a report, because its cost is proportional to the number of
+	// upstreams.
+	LiveAnnouncements func() []model.Announcement
 }
 
 // ReportSender sends reports to the leader of the control group.
@@ -135,7 +136,7 @@
 	r.complete = full || term == r.term
 	r.term = term
 	r.lastDrainedVersion = s.DrainedVersion
-	for _, a := range rep.Live {
+	for _, a := range rep.Changed {
 		r.reported[a.Instance] = a
 	}
 	for _, id := range rep.Gone {
@@ -150,12 +151,12 @@
 		Process: r.self.Name, Zone: r.self.Zone, Incarnation: r.incarnation,
 		Version: s.Version, DrainedVersion: s.DrainedVersion,
 	}
-	all := s.Live()
+	all := s.LiveAnnouncements()
 	live := make(map[model.InstanceID]bool, len(all))
 	for _, a := range all {
 		live[a.Instance] = true
 		if !r.complete || r.reported[a.Instance] != a {
-			rep.Live = append(rep.Live, a)
+			rep.Changed = append(rep.Changed, a)
 		}
 	}
 	for id := range r.reported {
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -219,5 +219,5 @@
 	m.registry.AddReport(*i.report, m.Clock.Now())
 	m.load.add(i.report.Load)
 	m.Capacity.RecordDemand(i.report.Process, i.report.Demand, m.Clock.Now())
-	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.DrainedVersion != drainedVersionBefore
+	return len(i.report.Changed) > 0 || len(i.report.Gone) > 0 || i.report.DrainedVersion != drainedVersionBefore
 }
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -119,7 +119,7 @@
 				r.DrainedVersion = v
 			}
 			for _, a := range s.live {
-				r.Live = append(r.Live, a)
+				r.Changed = append(r.Changed, a)
 			}
 			for id := range s.group.state.Instances {
 				if _, ok := s.live[id]; !ok {
@@ -218,7 +218,7 @@
 	a := s.live["i0"]
 	a.Instance = "i8"
 	s.mover.handleInput(input{report: &follow.Report{
-		Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a},
+		Process: "e1", Zone: "za", Incarnation: 1, Changed: []model.Announcement{a},
 	}})
 	s.mover.pass()
 	assert.Equal(t, s.instance("i8").Phase, model.PhaseServing)
@@ -252,7 +252,7 @@
 func TestResumedEntryCountsAgain(t *testing.T) {
 	g := NewRegistry()
 	a := model.Announcement{Instance: "i0", Zone: "za", Incarnation: 1}
-	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Live: []model.Announcement{a}}, 0)
+	g.AddReport(follow.Report{Process: "e1", Zone: "za", Incarnation: 1, Changed: []model.Announcement{a}}, 0)
 	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, 0)
 	g.AddReport(follow.Report{Process: "e2", Zone: "za", Incarnation: 1}, SilentAfter+1)
 	g.MarkSilentProcesses(SilentAfter + 1)
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -89,7 +89,7 @@
 	if len(c.Outages) > 0 {
 		m.lastOutage = c.Outages[len(c.Outages)-1]
 	}
-	m.registry.DeclaredGone = c.DeclaredGone
+	m.registry.GoneProcesses = c.GoneProcesses
 	m.Waves.Update(c)
 	m.Capacity.Update(c.Delta)
 	for _, i := range c.Delta.Instances {
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -46,10 +46,10 @@
 	// present: they may never report again and would hide the loss of the
 	// instance.
 	SilentProcesses map[model.Process]bool
-	// DeclaredGone holds the entry processes that were declared gone, with the
+	// GoneProcesses holds the entry processes that were declared gone, with the
 	// time of the declaration. Runs of the process that started before that time
 	// have ended.
-	DeclaredGone map[model.Process]clock.Millis
+	GoneProcesses map[model.Process]clock.Millis
 }
 
 // LiveInstance is an instance that at least one entry process reports.
@@ -94,7 +94,7 @@
 	if g.SilentProcesses[r.Process] {
 		g.clearSilent(r.Process)
 	}
-	for _, a := range r.Live {
+	for _, a := range r.Changed {
 		g.addAnnouncement(r.Process, a, now)
 	}
 	for _, id := range r.Gone {
@@ -199,7 +199,7 @@
 			continue
 		}
 		r, ok := g.Processes[m.Name]
-		gone, declared := g.DeclaredGone[m.Name]
+		gone, declared := g.GoneProcesses[m.Name]
 		// An incarnation is the time at which the run started.
 		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
 			continue
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -90,9 +90,9 @@
 	Delta model.Delta
 	// Maintenance holds all declared waves by name, not only the changed ones.
 	Maintenance map[string]model.Maintenance
-	// DeclaredGone holds all entry processes that were declared gone, with the
+	// GoneProcesses holds all entry processes that were declared gone, with the
 	// time of the declaration.
-	DeclaredGone map[model.Process]clock.Millis
+	GoneProcesses map[model.Process]clock.Millis
 	// Outages lists the outages that ended since the last pass, in the order in
 	// which they ended.
 	Outages []model.Outage
@@ -105,7 +105,7 @@
 	for k, v := range s.Maintenance {
 		c.Maintenance[k] = v
 	}
-	c.DeclaredGone = maps.Clone(s.GoneProcesses)
+	c.GoneProcesses = maps.Clone(s.GoneProcesses)
 	for i := len(s.Outages) - 1; i >= 0 && s.Outages[i] != lastOutage; i-- {
 		c.Outages = append(c.Outages, s.Outages[i])
 	}
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -42,12 +42,12 @@
 }
 
 // input is a value in the ring: an event or, if reply is set, a query for at most
-// limit events after the sequence number since.
+// limit events after the sequence number afterSeq.
 type input struct {
-	event model.Event
-	since uint64
-	limit int
-	reply chan<- answer
+	event    model.Event
+	afterSeq uint64
+	limit    int
+	reply    chan<- answer
 }
 
 // answer is the answer to a query: the events, and the number of events that the log
@@ -95,7 +95,7 @@
 		r.log.Add(in.event)
 		return
 	}
-	in.reply <- answer{r.log.Since(in.since, in.limit), r.log.Dropped}
+	in.reply <- answer{r.log.Since(in.afterSeq, in.limit), r.log.Dropped}
 }
 
 // Record stamps the event and puts it into the ring. It never waits for space:
@@ -127,15 +127,17 @@
 	r.hybrid.Observe(s, r.clock.Now())
 }
 
-// Events returns the logged events whose sequence number is greater than since,
+// Events returns the logged events whose sequence number is greater than afterSeq,
 // oldest first. It includes all events that the same goroutine recorded before
 // the call, unless they were lost or dropped; see Counts. Before Run is called,
 // Events, Page and Counts block.
-func (r *Recorder) Events(since uint64) []model.Event { return r.Page(since, math.MaxInt) }
+func (r *Recorder) Events(afterSeq uint64) []model.Event { return r.Page(afterSeq, math.MaxInt) }
 
 // Page is like Events but returns at most limit events, so that a response
 // does not contain a copy of a long log.
-func (r *Recorder) Page(since uint64, limit int) []model.Event { return r.query(since, limit).events }
+func (r *Recorder) Page(afterSeq uint64, limit int) []model.Event {
+	return r.query(afterSeq, limit).events
+}
 
 // Counts holds the counters of a Recorder; they never decrease.
 type Counts struct {
@@ -161,14 +163,14 @@
 }
 
 // query asks the event loop for events or, once Run has returned, reads the log itself.
-func (r *Recorder) query(since uint64, limit int) answer {
+func (r *Recorder) query(afterSeq uint64, limit int) answer {
 	reply := make(chan answer, 1)
-	if r.in.PutWait(input{since: since, limit: limit, reply: reply}, r.ended) {
+	if r.in.PutWait(input{afterSeq: afterSeq, limit: limit, reply: reply}, r.ended) {
 		select {
 		case a := <-reply:
 			return a
 		case <-r.ended:
 		}
 	}
-	return answer{r.log.Since(since, limit), r.log.Dropped}
+	return answer{r.log.Since(afterSeq, limit), r.log.Dropped}
 }
--- a/io/trans/front/load_test.go
+++ b/io/trans/front/load_test.go
@@ -138,7 +138,7 @@
 				// The requests that arrived at an upstream although their outcome
 				// is not-run.
 				b.ReportMetric(float64(l.arrived.Load()-int64(r.ran+r.other)), "untrue")
-				b.ReportMetric(float64(g.dispatcher.Snapshot().Counts.Ejections), "ejections")
+				b.ReportMetric(float64(g.dispatcher.Status().Counts.Ejections), "ejections")
 				b.ReportMetric(float64(l.overSlots.Load()), "over-slots")
 				b.ReportMetric(quantile(r.refusals, 0.5), "refusal-p50-ms")
 				b.ReportMetric(quantile(r.refusals, 0.99), "refusal-p99-ms")
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -97,7 +97,7 @@
 	t.Helper()
 	var s entry.Status
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if s = g.dispatcher.Snapshot(); s.Counts.Completed == s.Counts.Grants {
+		if s = g.dispatcher.Status(); s.Counts.Completed == s.Counts.Grants {
 			return poll.Success()
 		}
 		return poll.Continue("%d of %d grants were returned", s.Counts.Completed, s.Counts.Grants)
@@ -296,7 +296,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 400)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun)
-	assert.Equal(t, g.dispatcher.Snapshot().Counts.Requests, int64(0))
+	assert.Equal(t, g.dispatcher.Status().Counts.Requests, int64(0))
 }
 
 // TestShutdownFinishesRequests guards against a shutdown that aborts requests
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -33,9 +33,9 @@
 		Name: string(g.Upstream.Instance), WriteDeadline: g.Upstream.WriteDeadline, Address: g.Upstream.Address, Incarnation: g.Upstream.Incarnation,
 		MaxConnections: g.Upstream.Connections, HealthPath: g.Upstream.HealthPath,
 	}
-	if g.Upstream.LoanName != "" {
+	if g.Upstream.ConnectionName != "" {
 		// Each loan has connections of its own.
-		up.Name = g.Upstream.LoanName
+		up.Name = g.Upstream.ConnectionName
 	}
 	resp, res, err := f.client.Do(x.ctx, up, f.upstreamRequest(x, body))
 	if err != nil {
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -205,7 +205,7 @@
 		Process: string(r.Process), Zone: string(r.Zone), Incarnation: r.Incarnation,
 		Version: uint64(r.Version), Drained: uint64(r.DrainedVersion),
 	}
-	for _, a := range r.Live {
+	for _, a := range r.Changed {
 		w.Live = append(w.Live, codec.AnnouncementToWire(a))
 	}
 	for _, id := range r.Gone {
@@ -237,7 +237,7 @@
 		if err != nil {
 			return r, err
 		}
-		r.Live = append(r.Live, a)
+		r.Changed = append(r.Changed, a)
 	}
 	for _, id := range w.GetGone() {
 		r.Gone = append(r.Gone, model.InstanceID(id))
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -155,7 +155,7 @@
 
 func (e *Entry) status() follow.Status {
 	return follow.Status{
-		Version: e.poller.Version(), DrainedVersion: e.dispatch.DrainedVersion(), Live: e.dispatch.LiveAnnouncements,
+		Version: e.poller.Version(), DrainedVersion: e.dispatch.DrainedVersion(), LiveAnnouncements: e.dispatch.LiveAnnouncements,
 	}
 }
 
@@ -303,16 +303,16 @@
 		{"requests-duplicate", func() int64 { return e.front.Counts().Duplicate }},
 		{"requests-aborted", func() int64 { return e.front.Counts().Aborted }},
 		{"requests-retried", func() int64 { return e.front.Counts().Retries }},
-		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingRefused }},
-		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
-		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
-		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
-		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Requested }},
-		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
-		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Granted }},
-		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Received }},
-		{"loans-expired", func() int64 { return e.dispatch.Snapshot().Loans.Expired }},
-		{"loans-requests", func() int64 { return e.dispatch.Snapshot().Loans.Used }},
+		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Status().Counts.RingRefused }},
+		{"dispatcher-queued", func() int64 { return e.dispatch.Status().Counts.Queued }},
+		{"dispatcher-expired", func() int64 { return e.dispatch.Status().Counts.Expired }},
+		{"upstream-ejections", func() int64 { return e.dispatch.Status().Counts.Ejections }},
+		{"loans-asked", func() int64 { return e.dispatch.Status().Loans.Requested }},
+		{"loans-refused", func() int64 { return e.dispatch.Status().Loans.Refused }},
+		{"loans-given", func() int64 { return e.dispatch.Status().Loans.Granted }},
+		{"loans-taken", func() int64 { return e.dispatch.Status().Loans.Received }},
+		{"loans-expired", func() int64 { return e.dispatch.Status().Loans.Expired }},
+		{"loans-requests", func() int64 { return e.dispatch.Status().Loans.Used }},
 		{"loans-not-sent", e.lender.Refused},
 		{"connections-opened", func() int64 { return e.link.Counts().Opened }},
 		{"connections-closed", func() int64 { return e.link.Counts().Closed }},
@@ -325,8 +325,8 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	registerCounters(r, processCounters(e.client.Traffic))
-	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
-	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
+	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Status().Loans.LentSlots })
+	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Status().Loans.HeldSlots })
 	_ = r.Register("request-wait-ms", e.timed.waitMillis)
 	_ = r.Register("request-elapsed-ms", e.timed.elapsedMillis)
 	_ = admin.RegisterGauge(r, "table-version", func() int64 { return int64(e.poller.Version()) })
