Rename boot.Plan to JoinMode

Elsewhere a plan is the result of a pass; here it is the way in which a control process becomes a member of the control group. PlanForm is JoinModeFounder, because it also covers a founder whose start was interrupted after the group was formed, and PlanJoin is JoinModeExisting.

Checked: go build ./..., go test -short ./core/coord/...

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -39,27 +39,28 @@
 	Join(ctx context.Context, members []model.Member, self raft.Member) error
 }
 
-// Plan is the way in which a process with an empty data folder becomes a member.
-type Plan int
+// JoinMode is the way in which a process with an empty data folder becomes a member.
+type JoinMode int
 
-// The plans.
+// The modes.
 const (
-	// PlanRetry means that the configured members must be asked again: no group is
+	// JoinModeRetry means that the configured members must be asked again: no group is
 	// known, and either some of them did not answer with a member ID or this process is
 	// not configured.
-	PlanRetry Plan = iota
-	// PlanForm means that this process starts with an initial member list, the same as
-	// the other founders: either no group exists, or its own start was interrupted.
-	PlanForm
-	// PlanJoin means that a group exists, whose leader must add this process.
-	PlanJoin
+	JoinModeRetry JoinMode = iota
+	// JoinModeFounder means that this process starts with an initial member list, the
+	// same as the other founders: either no group exists, or its own start was
+	// interrupted.
+	JoinModeFounder
+	// JoinModeExisting means that a group exists, whose leader must add this process.
+	JoinModeExisting
 )
 
-// DecidePlan returns the plan of the process with the ID self. The returned members are
-// the initial members of the group for PlanForm, and the processes that answered for
-// PlanJoin. answers holds the answer of each configured member that responded, and of
-// this process.
-func DecidePlan(self raft.MemberID, configured []model.Member, answers []Hello) (Plan, []raft.Member) {
+// DecideJoinMode returns the mode in which the process with the ID self joins. The
+// returned members are the initial members of the group for JoinModeFounder, and the
+// processes that answered for JoinModeExisting. answers holds the answer of each
+// configured member that responded, and of this process.
+func DecideJoinMode(self raft.MemberID, configured []model.Member, answers []Hello) (JoinMode, []raft.Member) {
 	members := respondingMembers(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
@@ -69,20 +70,20 @@
 		// the listed ID. The ID was therefore never used in a group, and the process can
 		// safely start with the founders' list.
 		if slices.ContainsFunc(a.Founders, func(m raft.Member) bool { return m.ID == self }) {
-			return PlanForm, a.Founders
+			return JoinModeFounder, a.Founders
 		}
-		return PlanJoin, members
+		return JoinModeExisting, members
 	}
 	// A process that is not configured is never in an initial member list; it joins
 	// the group that the others form.
 	founder := slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == self })
 	if len(members) < len(configured) || !founder {
-		return PlanRetry, nil
+		return JoinModeRetry, nil
 	}
 	for i := range members {
 		members[i].Voter = true
 	}
-	return PlanForm, members
+	return JoinModeFounder, members
 }
 
 // respondingMembers returns the configured processes that answered with a member ID,
@@ -102,18 +103,18 @@
 	return members
 }
 
-// AwaitPlan asks the configured members until a plan other than PlanRetry is decided or
-// done is closed; in the latter case it returns PlanRetry.
-func AwaitPlan[P PeerClient](peers P, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (Plan, []raft.Member) {
+// AwaitJoinMode asks the configured members until a mode other than JoinModeRetry is
+// decided or done is closed; in the latter case it returns JoinModeRetry.
+func AwaitJoinMode[P PeerClient](peers P, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (JoinMode, []raft.Member) {
 	for {
-		plan, members := DecidePlan(self.ID, configured, collectAnswers(peers, self, configured))
-		if plan != PlanRetry {
-			return plan, members
+		mode, members := DecideJoinMode(self.ID, configured, collectAnswers(peers, self, configured))
+		if mode != JoinModeRetry {
+			return mode, members
 		}
 		select {
 		case <-c.After(roundDelay):
 		case <-done:
-			return PlanRetry, nil
+			return JoinModeRetry, nil
 		}
 	}
 }
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -13,27 +13,27 @@
 
 var configured = []model.Member{{Name: "c1"}, {Name: "c2"}, {Name: "c3"}}
 
-// TestDecidePlan guards against two groups with the same settings: a process with an
+// TestDecideJoinMode guards against two groups with the same settings: a process with an
 // empty data folder must never form a group when one exists.
-func TestDecidePlan(t *testing.T) {
+func TestDecideJoinMode(t *testing.T) {
 	tests := []struct {
 		name    string
 		answers []Hello
-		want    Plan
+		want    JoinMode
 	}{
-		{"all new", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanForm},
-		{"founder whose start was interrupted", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders}}, PlanForm},
-		{"founder that lost its data folder", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders[1:]}}, PlanJoin},
-		{"one does not answer", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, PlanRetry},
-		{"one was in a group", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: true}, {Name: "c3", ID: 3, Initialised: false}}, PlanJoin},
-		{"one is in a group, one does not answer", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c3", ID: 3, Initialised: true}}, PlanJoin},
-		{"one has no member ID", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, PlanRetry},
+		{"all new", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, JoinModeFounder},
+		{"founder whose start was interrupted", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders}}, JoinModeFounder},
+		{"founder that lost its data folder", []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2, Initialised: true, Founders: founders[1:]}}, JoinModeExisting},
+		{"one does not answer", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: false}}, JoinModeRetry},
+		{"one was in a group", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 2, Initialised: true}, {Name: "c3", ID: 3, Initialised: false}}, JoinModeExisting},
+		{"one is in a group, one does not answer", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c3", ID: 3, Initialised: true}}, JoinModeExisting},
+		{"one has no member ID", []Hello{{Name: "c1", ID: 1, Initialised: false}, {Name: "c2", ID: 0, Initialised: false}, {Name: "c3", ID: 3, Initialised: false}}, JoinModeRetry},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			plan, members := DecidePlan(1, configured, tt.answers)
-			assert.Equal(t, plan, tt.want)
-			if tt.want == PlanForm {
+			mode, members := DecideJoinMode(1, configured, tt.answers)
+			assert.Equal(t, mode, tt.want)
+			if tt.want == JoinModeFounder {
 				assert.Equal(t, len(members), len(configured))
 			}
 		})
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -53,14 +53,14 @@
 func TestUnconfiguredProcessFormsNoGroup(t *testing.T) {
 	configured := []model.Member{{Name: "c1"}, {Name: "c2"}}
 	answers := []Hello{{Name: "c4", ID: 4}, {Name: "c1", ID: 1}, {Name: "c2", ID: 2}}
-	plan, _ := DecidePlan(4, configured, answers)
-	assert.Equal(t, plan, PlanRetry)
-	plan, members := DecidePlan(1, configured, answers)
-	assert.Equal(t, plan, PlanForm)
+	mode, _ := DecideJoinMode(4, configured, answers)
+	assert.Equal(t, mode, JoinModeRetry)
+	mode, members := DecideJoinMode(1, configured, answers)
+	assert.Equal(t, mode, JoinModeFounder)
 	assert.Equal(t, len(members), 2)
 	answers[1].Initialised = true
-	plan, _ = DecidePlan(4, configured, answers)
-	assert.Equal(t, plan, PlanJoin)
+	mode, _ = DecideJoinMode(4, configured, answers)
+	assert.Equal(t, mode, JoinModeExisting)
 }
 
 // TestNonMemberAsksToJoin guards against a process with an empty disk at a new address
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -41,16 +41,16 @@
 	c := r.ctrl
 	stored := c.disk.Stored()
 	if !initialised(stored) {
-		plan, members := boot.AwaitPlan(c.client, c.member.self, c.cfg.Controls, c.clock, r.done)
-		switch plan {
-		case boot.PlanRetry:
+		mode, members := boot.AwaitJoinMode(c.client, c.member.self, c.cfg.Controls, c.clock, r.done)
+		switch mode {
+		case boot.JoinModeRetry:
 			// AwaitPlan ended because Stop was called.
 			return nil
-		case boot.PlanForm:
+		case boot.JoinModeFounder:
 			if err := r.formGroup(&stored, members); err != nil {
 				return err
 			}
-		case boot.PlanJoin:
+		case boot.JoinModeExisting:
 			// This process must be able to reply to the leader before it receives the
 			// member list.
 			c.senders.SetMembers(members)
