--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -44,7 +44,7 @@
 		mode, members := boot.AwaitJoinMode(c.client, c.member.self, c.cfg.Controls, c.clock, r.done)
 		switch mode {
 		case boot.JoinModeRetry:
-			// AwaitPlan ended because Stop was called.
+			// AwaitJoinMode ended because Stop was called.
 			return nil
 		case boot.JoinModeFounder:
 			if err := r.formGroup(&stored, members); err != nil {
