--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -137,8 +137,8 @@
 	return answers
 }
 
-// UnlistedMember returns a configured process that answers with a member ID which is not
-// in the member list and has never been in a group: its data folder was lost, or it was
+// UnlistedMember returns a configured process that has never been in a group and answers
+// with a member ID that is not in the member list: its data folder was lost, or it was
 // added to the settings. ok is false when there is none.
 func UnlistedMember(members []raft.Member, configured []model.Member, answers []Hello) (m raft.Member, ok bool) {
 	listed := make(map[raft.MemberID]bool, len(members))
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -22,7 +22,7 @@
 	opStatus
 	opTable
 	opInstance
-	opLive
+	opLiveAnnouncements
 	opLoans
 	opLoad
 	opDemand
@@ -77,8 +77,8 @@
 		c.demand = d.demand()
 	case opLoad:
 		c.load = d.load.take()
-	case opLive:
-		c.liveAnnouncements = d.live(now)
+	case opLiveAnnouncements:
+		c.liveAnnouncements = d.liveAnnouncements(now)
 	case opLoans:
 		c.loanFunc(now)
 	}
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -38,7 +38,8 @@
 	d.withLoans(func(now clock.Millis) {
 		d.loans.HandleResponse(now, m, requestedAt, response, ok)
 		for _, l := range response.Loans {
-			// This process's table may be newer than the lender's.
+			// This process's table may be newer than the lender's. EndLoansOf ends
+			// only loans whose instance no longer serves their pool in this table.
 			if i, known := d.table.Instances[l.Instance]; known {
 				d.loans.EndLoansOf(i)
 			}
@@ -156,10 +157,12 @@
 }
 
 // pick reserves a slot of this process's own share, or of a loan when the own share
-// has no free slot. The instance avoid is used only when no other has a free slot.
+// has no free slot. The own share of the instance avoid is used when no other
+// instance has a free own slot, and before a loan of another instance is tried.
+// Loans of avoid are never used.
 func (d *Dispatcher[P, Q, L]) pick(now clock.Millis, p model.Pool, avoid model.InstanceID) (reservation, bool) {
-	if h, ok := d.router.Reserve(now, p, avoid); ok {
-		return reservation{own: h}, true
+	if own, ok := d.router.Reserve(now, p, avoid); ok {
+		return reservation{own: own}, true
 	}
 	loan, ok := d.loans.Acquire(now, p, avoid)
 	return reservation{loan: loan}, ok
@@ -168,6 +171,8 @@
 // cancelPick undoes pick for a slot that was not used.
 func (d *Dispatcher[P, Q, L]) cancelPick(now clock.Millis, r reservation) {
 	if r.loan != nil {
+		// Neither failed nor unreached: nothing was sent. Acquire has counted the
+		// slot as used.
 		d.loans.Release(now, r.loan, false, false)
 		d.loans.Counts.Used--
 		return
--- a/core/coord/entry/lookup.go
+++ b/core/coord/entry/lookup.go
@@ -16,10 +16,10 @@
 // LiveAnnouncements returns the announcements whose lease has not expired. Its cost
 // is proportional to the number of upstreams in the zone.
 func (d *Dispatcher[P, Q, L]) LiveAnnouncements() []model.Announcement {
-	return d.call(&command{op: opLive}).liveAnnouncements
+	return d.call(&command{op: opLiveAnnouncements}).liveAnnouncements
 }
 
-func (d *Dispatcher[P, Q, L]) live(now clock.Millis) []model.Announcement {
+func (d *Dispatcher[P, Q, L]) liveAnnouncements(now clock.Millis) []model.Announcement {
 	var all []model.Announcement
 	d.announcements.Each(func(r *member.Record) {
 		if r.Live(now) {
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -70,8 +70,9 @@
 	// Retry is set when an earlier attempt was proven not to have run. A retry
 	// uses the customer's retry budget.
 	Retry bool
-	// Avoid is the instance of the earlier attempt. It is selected again only when
-	// no other instance has a free slot.
+	// Avoid is the instance of the earlier attempt. It is selected again only when no
+	// other instance has a free slot in this process's own share. No loan of it is
+	// used, but its own slot is preferred to a loan of another instance.
 	Avoid model.InstanceID
 }
 
--- a/core/coord/fanout/forwarder.go
+++ b/core/coord/fanout/forwarder.go
@@ -22,9 +22,9 @@
 	sendTimeout clock.Millis = 500
 )
 
-// Sender sends announcements to one neighbour.
+// Sender sends announcements to other entry processes.
 type Sender interface {
-	// Announce sends the announcements to the neighbour m.
+	// Announce sends the announcements to the entry process m.
 	Announce(ctx context.Context, m model.Member, announcements []model.Announcement) error
 }
 
@@ -37,17 +37,17 @@
 }
 
 // neighbour is an entry process of the same zone and the ring of the announcements
-// that wait for it.
+// that wait to be sent to it.
 type neighbour struct {
-	member model.Member
-	in     *ring.Ring[model.Announcement]
+	member   model.Member
+	outgoing *ring.Ring[model.Announcement]
 }
 
 // New returns a forwarder to the given neighbours.
 func New[S Sender](s S, neighbours []model.Member, c clock.Clock) *Forwarder[S] {
 	f := &Forwarder[S]{sender: s, clock: c, done: make(chan struct{})}
 	for _, m := range neighbours {
-		f.neighbours = append(f.neighbours, neighbour{member: m, in: ring.New[model.Announcement](ringSize)})
+		f.neighbours = append(f.neighbours, neighbour{member: m, outgoing: ring.New[model.Announcement](ringSize)})
 	}
 	return f
 }
@@ -57,7 +57,7 @@
 // full, the announcement to that neighbour is dropped and counted.
 func (f *Forwarder[S]) Forward(a model.Announcement) {
 	for _, nb := range f.neighbours {
-		nb.in.TryPut(a)
+		nb.outgoing.TryPut(a)
 	}
 }
 
@@ -66,12 +66,12 @@
 func (f *Forwarder[S]) Refused() int64 {
 	var n int64
 	for _, nb := range f.neighbours {
-		n += nb.in.Refused()
+		n += nb.outgoing.Refused()
 	}
 	return n
 }
 
-// Run forwards announcements until Stop.
+// Run forwards announcements until Stop, also when there are no neighbours.
 func (f *Forwarder[S]) Run() error {
 	var wg sync.WaitGroup
 	for _, nb := range f.neighbours {
@@ -92,7 +92,7 @@
 func (f *Forwarder[S]) runNeighbour(nb neighbour) {
 	for {
 		select {
-		case a := <-nb.in.C():
+		case a := <-nb.outgoing.C():
 			f.sendBatch(nb, a)
 		case <-f.done:
 			return
@@ -108,7 +108,7 @@
 	case <-f.done:
 		return
 	}
-	received := nb.in.Drain([]model.Announcement{first}, maxBatch)
+	received := nb.outgoing.Drain([]model.Announcement{first}, maxBatch)
 	indexes := make(map[model.InstanceID]int, len(received))
 	batch := received[:0]
 	for _, a := range received {
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -9,8 +9,8 @@
 
 // Timing of the reporter.
 const (
-	// reportTick is the time between two checks whether the drained version, which
-	// moves of instances wait for, has changed.
+	// reportTick is the time between two checks whether the drained version has
+	// changed, which moves and the maintenance of instances wait for.
 	reportTick clock.Millis = 100
 	// ReportInterval is the longest time between two reports. The leader treats an
 	// entry process as silent after three intervals without one.
@@ -64,8 +64,8 @@
 }
 
 // Reporter reports to the leader: within reportTick when the drained version has
-// changed, because moves of instances wait for it, and otherwise every
-// ReportInterval.
+// changed, because moves and the maintenance of instances wait for it, and otherwise
+// every ReportInterval.
 type Reporter[R ReportSender] struct {
 	self           model.Member
 	incarnation    uint64
@@ -80,10 +80,11 @@
 	reported           map[model.InstanceID]model.Announcement
 	lastDrainedVersion model.Version
 	lastReportAt       clock.Millis
-	// complete is set once the leader of the current term has all announcements. A
-	// failed report or a new term clears it, because the leader may then have none of
-	// them.
-	complete bool
+	// leaderHasAll is set while the leader of the term has all announcements: the last
+	// report held all of them, or only the changes and went to a leader that had the
+	// others. A failed report or a new term clears it, because the leader may then
+	// have none of them.
+	leaderHasAll bool
 	// term is the term of the leader that received the last report.
 	term uint64
 }
@@ -127,13 +128,15 @@
 		r.loadReportedAt = now
 		rep.Load = r.loadReport()
 	}
-	full := !r.complete
+	sentAll := !r.leaderHasAll
 	term, err := r.sender.Report(ctx, rep)
 	if err != nil {
-		r.complete = false
+		r.leaderHasAll = false
 		return
 	}
-	r.complete = full || term == r.term
+	// After a change of the term, a report of only the changes is not enough: the new
+	// leader has not received the earlier reports.
+	r.leaderHasAll = sentAll || term == r.term
 	r.term = term
 	r.lastDrainedVersion = s.DrainedVersion
 	for _, a := range rep.Changed {
@@ -155,7 +158,7 @@
 	live := make(map[model.InstanceID]bool, len(all))
 	for _, a := range all {
 		live[a.Instance] = true
-		if !r.complete || r.reported[a.Instance] != a {
+		if !r.leaderHasAll || r.reported[a.Instance] != a {
 			rep.Changed = append(rep.Changed, a)
 		}
 	}
--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -11,8 +11,9 @@
 
 // The kinds of error.
 const (
-	// KindNotLeader means that only the leader can perform the operation;
-	// nothing was done.
+	// KindNotLeader means that only the leader can perform the operation, or that
+	// this member lost the leadership or stopped while a read waited for its
+	// confirmation; nothing was done.
 	KindNotLeader Kind = iota
 	// KindBusy means that the ring or the list of pending proposals or reads is
 	// full; nothing was done.
@@ -28,9 +29,11 @@
 	KindInvalid
 	// KindStopped means that the event loop has ended; nothing was done.
 	KindStopped
-	// KindCanceled means that the caller's context ended, or the member stopped,
-	// before the operation was complete. It is used only for operations that
-	// change nothing.
+	// KindCanceled means that the caller's context ended, or the event loop ended
+	// without an answer, before the operation was complete. It is used only for
+	// operations that change nothing. When the member stops, reads that wait for
+	// their confirmation are answered with KindNotLeader, and inputs that are still
+	// queued with KindStopped.
 	KindCanceled
 	// KindOutcomeUnknown means that the change may have been applied or may
 	// still be applied. A resend with the same request ID returns the result.
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if g.failedOutput != nil {
-		g.refuse(in)
+		g.failOnDiskError(in)
 		return
 	}
 	switch in.kind {
@@ -44,8 +44,9 @@
 	}
 }
 
-// refuse rejects an input while writes to the disk fail.
-func (g *Group[S, C]) refuse(in input) {
+// failOnDiskError answers an input with the error of the failed write, or drops it
+// and counts its messages when it comes from a peer.
+func (g *Group[S, C]) failOnDiskError(in input) {
 	if in.kind == inputMessages {
 		g.counts.DroppedMessages += int64(len(in.messages))
 		return
@@ -61,7 +62,7 @@
 		return
 	}
 	if len(g.pendingProposals) >= g.cfg.MaxPending {
-		in.answer(answer{err: failf(in.op, KindBusy, "%d proposals wait for commit", len(g.pendingProposals))})
+		in.answer(answer{err: failf(in.op, KindBusy, "%d proposals wait for commit; at most %d may wait", len(g.pendingProposals), g.cfg.MaxPending)})
 		return
 	}
 	in.change.Time = now
@@ -89,7 +90,7 @@
 // read requests a read. Its caller is answered when a quorum has confirmed it.
 func (g *Group[S, C]) read(in input) {
 	if len(g.pendingReads) >= g.cfg.MaxPending {
-		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for confirmation", len(g.pendingReads))})
+		in.answer(answer{err: failf(in.op, KindBusy, "%d reads wait for confirmation; at most %d may wait", len(g.pendingReads), g.cfg.MaxPending)})
 		return
 	}
 	g.lastReadContext++
@@ -110,8 +111,9 @@
 	}
 }
 
-// tick advances the time of the Raft node, or retries a failed write, and
-// removes the watchers and joins whose caller no longer waits.
+// tick removes the watchers and joins whose caller no longer waits. Then it advances
+// the time of the Raft node and calls reconcileMembers or, while writes fail, retries
+// the failed write when that is due.
 func (g *Group[S, C]) tick() {
 	now := g.clock.Now()
 	g.watchers = slices.DeleteFunc(g.watchers, func(w watcher) bool { return isClosed(w.done) })
--- a/core/coord/lender/sender.go
+++ b/core/coord/lender/sender.go
@@ -71,10 +71,10 @@
 	ended       chan struct{}
 }
 
-// peer is an entry process and the ring of the messages that wait for it.
+// peer is an entry process and the ring of the messages that wait to be sent to it.
 type peer struct {
-	member model.Member
-	in     *ring.Ring[lend.Message]
+	member   model.Member
+	outgoing *ring.Ring[lend.Message]
 }
 
 // New returns a sender that reads messages from in.
@@ -84,7 +84,7 @@
 		peerByName: map[model.Process]peer{}, done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	for _, e := range entries {
-		s.peerByName[e.Name] = peer{member: e, in: ring.New[lend.Message](peerRingSize)}
+		s.peerByName[e.Name] = peer{member: e, outgoing: ring.New[lend.Message](peerRingSize)}
 	}
 	return s
 }
@@ -113,7 +113,7 @@
 	for {
 		select {
 		case m := <-s.in.C():
-			if p, ok := s.peerByName[m.To]; !ok || !p.in.TryPut(m) {
+			if p, ok := s.peerByName[m.To]; !ok || !p.outgoing.TryPut(m) {
 				s.failMessage(m)
 			}
 		case <-s.done:
@@ -133,7 +133,7 @@
 func (s *Sender[P, L, C]) Refused() int64 {
 	n := s.in.Refused()
 	for _, p := range s.peerByName {
-		n += p.in.Refused()
+		n += p.outgoing.Refused()
 	}
 	return n
 }
@@ -143,7 +143,7 @@
 	defer cancel()
 	for {
 		select {
-		case m := <-p.in.C():
+		case m := <-p.outgoing.C():
 			s.deliver(ctx, p.member, m)
 		case <-s.done:
 			return
--- a/core/coord/mover/load.go
+++ b/core/coord/mover/load.go
@@ -37,12 +37,12 @@
 }
 
 // add adds the counts of one load report.
-func (t *loadTotals) add(x model.LoadReport) {
-	for _, c := range x.Customers {
+func (t *loadTotals) add(report model.LoadReport) {
+	for _, c := range report.Customers {
 		n := t.customers[c.Customer]
 		t.customers[c.Customer] = requestCount{n.total + float64(c.Requests), n.failed + float64(c.Unserved)}
 	}
-	for _, i := range x.Instances {
+	for _, i := range report.Instances {
 		n := t.instances[i.Instance]
 		t.instances[i.Instance] = requestCount{n.total + float64(i.Calls), n.failed + float64(i.Failures)}
 	}
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -25,7 +25,7 @@
 	// lost. Absence starts when no entry process reports the instance any more,
 	// which is after the lease of its announcement has expired.
 	LossGrace = 2 * clock.Second
-	// callTimeout is the limit for one call to the group or the platform.
+	// callTimeout is the limit for one call to the control group or the platform.
 	callTimeout clock.Millis = 2000
 	// rebootRetryInterval is the time after which a reboot is requested again
 	// when the instance has not restarted.
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -99,7 +99,7 @@
 }
 
 // trackInstance updates moving, inMaintenance and the observation for a changed
-// instance.
+// instance. It marks a serving instance that no entry process reports as absent.
 func (m *Mover[G, P, C, J, A, S]) trackInstance(i model.Instance, now clock.Millis) {
 	delete(m.moving, i.ID)
 	delete(m.inMaintenance, i.ID)
@@ -294,7 +294,7 @@
 	return true
 }
 
-// callContext returns a context for one call to the group or the platform.
+// callContext returns a context for one call to the control group or the platform.
 func (m *Mover[G, P, C, J, A, S]) callContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), callTimeout.Duration())
 }
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -34,9 +34,9 @@
 	// Live holds, for each announced instance, its announcement and the entry
 	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
-	// NewlyAnnounced holds the instances that were announced since the last
-	// ClearEnrolled. A pass enrols them or clears their lost mark. Holding them
-	// keeps the cost of a pass proportional to the changes.
+	// NewlyAnnounced holds the instances that were announced and that ClearEnrolled
+	// has not removed since. A pass enrols them or clears their lost mark. Holding
+	// them keeps the cost of a pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds, for each instance that is reported by no entry process or
 	// only by silent ones, the time since when.
@@ -199,9 +199,9 @@
 			continue
 		}
 		r, ok := g.Processes[m.Name]
-		gone, declared := g.GoneProcesses[m.Name]
+		goneAt, declared := g.GoneProcesses[m.Name]
 		// An incarnation is the time at which the run started.
-		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
+		if declared && (!ok || clock.Millis(r.Incarnation) < goneAt) {
 			continue
 		}
 		if !ok || r.DrainedVersion < v {
--- a/core/coord/mover/steps.go
+++ b/core/coord/mover/steps.go
@@ -23,8 +23,10 @@
 	Reason string
 }
 
-// Enrol returns the steps that add newly announced instances to the fleet. Their
-// maintenance period starts at now.
+// Enrol returns the steps that add newly announced instances to the fleet.
+// MaintainedAt of a new instance is now, although it was not maintained: its
+// maintenance period starts now, and no wave that was declared earlier takes it out
+// of service.
 func Enrol(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for id := range g.NewlyAnnounced {
--- a/core/coord/mover/surgeplanner.go
+++ b/core/coord/mover/surgeplanner.go
@@ -115,17 +115,17 @@
 			continue
 		}
 		for _, d := range r.pools {
-			x := sums[d.Pool]
-			if x == nil {
-				x = &plan.Demand{Pool: d.Pool, ServiceMillis: 1}
-				sums[d.Pool] = x
+			sum := sums[d.Pool]
+			if sum == nil {
+				sum = &plan.Demand{Pool: d.Pool, ServiceMillis: 1}
+				sums[d.Pool] = sum
 				order = append(order, d.Pool)
 			}
-			x.ServiceMillis = max(x.ServiceMillis, d.TypicalRunTime)
-			x.Waiting += float64(d.Waiting)
+			sum.ServiceMillis = max(sum.ServiceMillis, d.TypicalRunTime)
+			sum.Waiting += float64(d.Waiting)
 			// A refused request would have used a slot for its run time.
 			refused := float64(d.Refused) * float64(d.TypicalRunTime) / float64(r.interval)
-			x.NeededSlots += float64(d.Running+d.Waiting) + refused
+			sum.NeededSlots += float64(d.Running+d.Waiting) + refused
 		}
 	}
 	out := make([]plan.Demand, 0, len(order))
--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -39,9 +39,9 @@
 		if r.scheduler != nil {
 			r.scheduler.RemoveWorker(in.departure.worker, in.departure.incarnation, now)
 		}
-	case in.action != nil:
-		if r.scheduler != nil && in.action.action.term == r.term {
-			r.scheduler.HandleOutcome(in.action.action.Action, in.action.outcome, now)
+	case in.result != nil:
+		if r.scheduler != nil && in.result.action.term == r.term {
+			r.scheduler.HandleOutcome(in.result.action.Action, in.result.outcome, now)
 		}
 	}
 }
@@ -198,7 +198,7 @@
 		select {
 		case a := <-r.actions.C():
 			result := &actionResult{action: a, outcome: r.sendAction(a)}
-			if !r.in.PutWait(input{action: result}, r.ended) {
+			if !r.in.PutWait(input{result: result}, r.ended) {
 				return
 			}
 		case <-r.ended:
@@ -222,5 +222,5 @@
 func (r *Runner[G, M, O, J]) maySend(a pendingAction) bool {
 	term, ok := r.group.Leads()
 	skew := r.clock.Skew() - a.skew
-	return ok && term == a.term && r.clock.Now()-a.decidedAt <= maxActionAge && -maxSkewChangeMillis <= skew && skew <= maxSkewChangeMillis
+	return ok && term == a.term && r.clock.Now()-a.decidedAt <= maxActionAge && -maxSkewChange <= skew && skew <= maxSkewChange
 }
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -19,16 +19,16 @@
 	// commitTimeout is the limit for committing one batch. A leader that can't
 	// commit for this long has lost its quorum.
 	commitTimeout = 4 * clock.Second
-	// maxConfirmationAgeMillis is the age above which the leadership is confirmed
+	// maxConfirmationAge is the age above which the leadership is confirmed
 	// again before a worker lease is granted.
-	maxConfirmationAgeMillis clock.Millis = 300
-	// maxSkewChangeMillis is the change of the clock's skew above which the machine
+	maxConfirmationAge clock.Millis = 300
+	// maxSkewChange is the change of the clock's skew above which the machine
 	// is assumed to have been suspended.
-	maxSkewChangeMillis clock.Millis = 200
-	// maxIdleMillis is the longest time between two checks of the leadership.
-	maxIdleMillis = clock.Second
-	// retryAfterMillis is the retry delay given to callers that found no leader.
-	retryAfterMillis clock.Millis = 500
+	maxSkewChange clock.Millis = 200
+	// maxIdleTime is the longest time between two checks of the leadership.
+	maxIdleTime = clock.Second
+	// retryAfter is the retry delay given to callers that found no leader.
+	retryAfter clock.Millis = 500
 	// actionSenders is the number of goroutines that send actions to the platform.
 	actionSenders int = 4
 	// actionRingSize is the number of actions that can wait to be sent. Further
@@ -89,7 +89,7 @@
 	// waiting holds the heartbeats that are not answered yet.
 	waiting map[jobs.WorkerID]waitingHeartbeat
 	// reloadAt is the time from which the state may be loaded again after a
-	// failed commit.
+	// failed commit; it is maxConfirmationAge later.
 	reloadAt clock.Millis
 	// timer fires at wakeAt; nil for no timer.
 	timer  <-chan struct{}
@@ -120,7 +120,7 @@
 }
 
 // input is one element of the runner's ring. At most one of call, heartbeat,
-// departure, committed and action is set; an input without any only wakes the
+// departure, committed and result is set; an input without any only wakes the
 // event loop.
 type input struct {
 	call      *Call
@@ -129,7 +129,7 @@
 	reply     chan heartbeatResult
 	departure *departure
 	committed *batch
-	action    *actionResult
+	result    *actionResult
 }
 
 // departure is the report that a worker has exited.
@@ -231,7 +231,7 @@
 }
 
 func unavailable(reason string) Answer {
-	return Answer{Kind: AnswerUnavailable, RetryAfter: retryAfterMillis, Reason: reason}
+	return Answer{Kind: AnswerUnavailable, RetryAfter: retryAfter, Reason: reason}
 }
 
 // Heartbeat passes a worker's heartbeat to the runner and waits for the answer.
@@ -303,7 +303,7 @@
 // from a suspension; it costs one additional confirmation.
 func (r *Runner[G, M, O, J]) detectSuspension() {
 	skew := r.clock.Skew()
-	if d := skew - r.lastSkew; d > maxSkewChangeMillis || d < -maxSkewChangeMillis {
+	if d := skew - r.lastSkew; d > maxSkewChange || d < -maxSkewChange {
 		r.confirmedAt = 0
 		r.lastSkew = skew
 	}
@@ -361,7 +361,7 @@
 func (r *Runner[G, M, O, J]) pass() {
 	now := r.clock.Now()
 	if r.scheduler == nil {
-		r.wakeBy(now, now+maxIdleMillis)
+		r.wakeBy(now, now+maxIdleTime)
 		return
 	}
 	p := r.scheduler.Pass(now)
@@ -382,7 +382,7 @@
 		r.notes(p.Notes)
 	}
 	r.startNextBatch(now)
-	r.wakeBy(now, min(p.NextPass, now+maxIdleMillis))
+	r.wakeBy(now, min(p.NextPass, now+maxIdleTime))
 }
 
 func (r *Runner[G, M, O, J]) countRun(o jobs.Op) {
@@ -411,7 +411,7 @@
 		return
 	}
 	b := &r.next
-	if len(b.actions) > 0 || (len(b.orders) > 0 && now-r.confirmedAt > maxConfirmationAgeMillis) {
+	if len(b.actions) > 0 || (len(b.orders) > 0 && now-r.confirmedAt > maxConfirmationAge) {
 		b.confirm = true
 	}
 	if len(b.ops) == 0 && !b.confirm {
@@ -472,7 +472,7 @@
 		if b.term == r.term {
 			r.reset(failf("commit", KindOutcomeUnknown, "a change before it was not committed"))
 			// The state is loaded again if this process still leads.
-			r.term, r.reloadAt = 0, now+maxConfirmationAgeMillis
+			r.term, r.reloadAt = 0, now+maxConfirmationAge
 			r.wakeBy(now, r.reloadAt)
 		}
 		return
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -22,8 +22,8 @@
 	errUnknown   = errors.New("the outcome is unknown")
 )
 
-// fakeGroup is a consensus group of one member that can be blocked and can lose
-// its leadership.
+// fakeGroup is a control group of one member that can be blocked and can lose its
+// leadership.
 type fakeGroup struct {
 	mu    sync.Mutex
 	state *fleet.State
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -44,7 +44,7 @@
 	return &Error{Op: op, Kind: kind, Err: fmt.Errorf(format, args...)}
 }
 
-// Group is the consensus group as the runner uses it.
+// Group is the control group as the runner uses it.
 type Group interface {
 	// Propose replicates a change and returns the result of applying it.
 	Propose(ctx context.Context, c model.Change) (model.Result, error)
