Reword what was read twice in entry, follow and mover

mover reset: "it need not be kept" had no clear subject. follow pollControl didn't say that it returns true after Stop. Locals named x in entry demand and the planners of mover say what they hold.

--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -21,12 +21,12 @@
 func (d *Dispatcher[P, Q, L]) demand() []model.PoolDemand {
 	byPool := map[model.Pool]*model.PoolDemand{}
 	demandOf := func(p model.Pool) *model.PoolDemand {
-		x := byPool[p]
-		if x == nil {
-			x = &model.PoolDemand{Pool: p, TypicalRunTime: d.admission.TypicalRunTime(p)}
-			byPool[p] = x
+		poolDemand := byPool[p]
+		if poolDemand == nil {
+			poolDemand = &model.PoolDemand{Pool: p, TypicalRunTime: d.admission.TypicalRunTime(p)}
+			byPool[p] = poolDemand
 		}
-		return x
+		return poolDemand
 	}
 	d.router.Each(func(u *route.Upstream) {
 		if u.Running > 0 && u.Pool != "" {
@@ -48,8 +48,8 @@
 	}
 	clear(d.load.refusedByPool)
 	all := make([]model.PoolDemand, 0, len(byPool))
-	for _, x := range byPool {
-		all = append(all, *x)
+	for _, poolDemand := range byPool {
+		all = append(all, *poolDemand)
 	}
 	slices.SortFunc(all, func(a, b model.PoolDemand) int { return cmp.Compare(a.Pool, b.Pool) })
 	return all
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -136,7 +136,7 @@
 // Outcome says how a granted request ended.
 type Outcome = route.Outcome
 
-// The outcomes, as in package route.
+// The outcomes; see package route for their meaning.
 const (
 	OutcomeOK        = route.OutcomeOK
 	OutcomeError     = route.OutcomeError
--- a/core/coord/follow/poller.go
+++ b/core/coord/follow/poller.go
@@ -144,7 +144,8 @@
 
 // pollControl polls the control members in turn until one answers with a delta that
 // can be applied, and reports whether one did. After a failure it lets no member delay
-// its answer.
+// its answer. It returns true when Stop was called during a call, so that no neighbour
+// is polled.
 func (p *Poller[S]) pollControl(ctx context.Context) bool {
 	for _, m := range p.ControlMembers {
 		wait := WatchWait
--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -48,11 +48,11 @@
 
 // Update applies changes of the table.
 func (c *CapacityPlanner[A, S]) Update(d model.Delta) {
-	for _, x := range d.Contracts {
-		c.contracts[x.Customer] = x
+	for _, contract := range d.Contracts {
+		c.contracts[contract.Customer] = contract
 	}
-	for _, x := range d.RemovedContracts {
-		delete(c.contracts, x)
+	for _, customer := range d.RemovedContracts {
+		delete(c.contracts, customer)
 	}
 	if len(d.Contracts)+len(d.RemovedContracts) > 0 {
 		names := slices.Sorted(maps.Keys(c.contracts))
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -127,8 +127,8 @@
 	return m
 }
 
-// reset clears the state that belongs to a term. It need not be kept, because entry
-// processes send complete reports to a new leader.
+// reset clears the state that belongs to a term. A new leader needs none of an earlier
+// term, because entry processes send complete reports to it.
 func (m *Mover[G, P, C, J, A, S]) reset(term uint64) {
 	m.term = term
 	m.registry = NewRegistry()
--- a/core/coord/mover/waveplanner.go
+++ b/core/coord/mover/waveplanner.go
@@ -40,11 +40,11 @@
 
 // Update applies changes of the replicated state.
 func (w *WavePlanner[P, J]) Update(c StateChanges) {
-	for _, x := range c.Delta.Contracts {
-		w.planner.SetContract(x)
+	for _, contract := range c.Delta.Contracts {
+		w.planner.SetContract(contract)
 	}
-	for _, x := range c.Delta.RemovedContracts {
-		w.planner.RemoveContract(x)
+	for _, customer := range c.Delta.RemovedContracts {
+		w.planner.RemoveContract(customer)
 	}
 	for _, i := range c.Delta.Instances {
 		w.planner.SetInstance(i)
