--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -72,7 +72,7 @@
 func waitUntil(t testing.TB, what string, ok func(Status) bool, d *testDispatcher) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if ok(d.Snapshot()) {
+		if ok(d.Status()) {
 			return poll.Success()
 		}
 		return poll.Continue("waiting: %s", what)
@@ -114,7 +114,7 @@
 	}
 	wg.Wait()
 	waitUntil(t, "all ended", func(s Status) bool { return s.Counts.Completed == s.Counts.Grants }, d)
-	s := d.Snapshot()
+	s := d.Status()
 	assert.Equal(t, s.Customers[0].Running+s.Customers[0].Waiting, 0)
 	for _, u := range s.Upstreams {
 		assert.Equal(t, u.Running, 0)
@@ -194,12 +194,12 @@
 // against confirming a release while a request still uses the instance.
 func TestTableAndDrained(t *testing.T) {
 	d := start(t, 1, contract("acme", 10, 10))
-	assert.Equal(t, d.Drained(), model.Version(5))
+	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	g := mustAsk(t, d)
 	i := instance(g.Upstream.Instance, 1)
 	i.Phase, i.Version = model.PhaseReleasing, 8
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 8, Instances: []model.Instance{i}}))
-	assert.Equal(t, d.Drained(), model.Version(7))
+	assert.Equal(t, d.DrainedVersion(), model.Version(7))
 	var e *Error
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{To: 7, Full: true}), &e) && e.Kind == KindVersion)
 	assert.Assert(t, errors.As(d.ApplyDelta(model.Delta{From: 5, To: 9}), &e) && e.Kind == KindVersion)
@@ -207,12 +207,12 @@
 	other := mustAsk(t, d)
 	assert.Assert(t, other.Upstream.Instance != g.Upstream.Instance)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 8 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.DrainedVersion() == 8 }, d)
 	// A full delta without the instance in use releases it.
 	assert.NilError(t, d.ApplyDelta(model.Delta{To: 12, Full: true, Contracts: []model.Contract{contract("acme", 10, 10)}}))
-	assert.Equal(t, d.Drained(), model.Version(8))
+	assert.Equal(t, d.DrainedVersion(), model.Version(8))
 	d.Done(other.Ticket, OutcomeOK, 1)
-	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 12 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.DrainedVersion() == 12 }, d)
 }
 
 // TestPauseRequiresConfirmedTable guards against a suspended process that resumes
@@ -246,9 +246,9 @@
 	c := contract("acme", 0, 1)
 	c.Pools[0].Instances = 3
 	d := start(t, 4, c)
-	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12)
+	assert.Equal(t, d.Status().Customers[0].InFlightLimit, 12)
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{instance("ib", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 12, "the smallest instance counts")
+	assert.Equal(t, d.Status().Customers[0].InFlightLimit, 12, "the smallest instance counts")
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 6, To: 7, Instances: []model.Instance{instance("ia", 6)}}))
-	assert.Equal(t, d.Snapshot().Customers[0].InFlightLimit, 18)
+	assert.Equal(t, d.Status().Customers[0].InFlightLimit, 18)
 }
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -54,25 +54,25 @@
 	assert.NilError(t, d.Announce(a))
 	request := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 1, Pool: "svc", Slots: 9}
 	assert.Equal(t, len(d.Lend(request).Loans), 0)
-	assert.Equal(t, d.Drained(), model.Version(0))
+	assert.Equal(t, d.DrainedVersion(), model.Version(0))
 	nextMessage(messages, lend.MessageRecall)
 	d.HandleRecallAck("e2")
-	assert.Equal(t, d.Drained(), model.Version(5))
+	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	g := mustAsk(t, d)
 	assert.Equal(t, g.Upstream.Connections, 4)
 	loans := d.Lend(request).Loans
 	assert.Equal(t, len(loans), 1)
 	assert.Equal(t, loans[0].Slots, 3)
-	assert.Equal(t, d.Snapshot().Upstreams[0].Lent, 3)
+	assert.Equal(t, d.Status().Upstreams[0].Lent, 3)
 	d.Done(g.Ticket, OutcomeOK, 1)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
-	assert.Equal(t, d.Drained(), model.Version(5))
+	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	renew := lend.LoanRequest{Borrower: "e2", Incarnation: 1, Number: 2, Pool: "svc", Renew: []lend.ID{loans[0].ID}}
 	assert.Equal(t, len(d.Lend(renew).Renewed), 0)
 	d.HandleReturn(lend.Return{Borrower: "e2", Incarnation: 1, IDs: []lend.ID{loans[0].ID}})
-	waitUntil(t, "drained", func(Status) bool { return d.Drained() == 6 }, d)
+	waitUntil(t, "drained", func(Status) bool { return d.DrainedVersion() == 6 }, d)
 }
 
 // TestBorrowerServesOnALoan guards against a process without upstreams that refuses
@@ -89,12 +89,12 @@
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
-	assert.Assert(t, g.Upstream.LoanName != "" && g.Upstream.WriteDeadline == 1<<60)
+	assert.Assert(t, g.Upstream.ConnectionName != "" && g.Upstream.WriteDeadline == 1<<60)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
 	assert.NilError(t, d.ApplyDelta(model.Delta{From: 5, To: 6, Instances: []model.Instance{i}}))
 	_, refusal := ask(t.Context(), d)
 	assert.Equal(t, refusal.Kind, RefusalCapacity)
 	d.Done(g.Ticket, OutcomeOK, 1)
-	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.LoanName})
+	assert.DeepEqual(t, nextMessage(messages, lend.MessageReturn).CloseConnections, []string{g.Upstream.ConnectionName})
 }
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -70,8 +70,9 @@
 	// Retry is set when an earlier attempt was proven not to have run. A retry
 	// uses the customer's retry budget.
 	Retry bool
-	// Avoid is the instance of the earlier attempt. It is selected again only when
-	// no other instance has a free slot.
+	// Avoid is the instance of the earlier attempt. It is selected again only when no
+	// other instance has a free slot in this process's own share. No loan of it is
+	// used, but its own slot is preferred to a loan of another instance.
 	Avoid model.InstanceID
 }
 
@@ -86,9 +87,10 @@
 	HealthPath  string
 	// Connections is this process's share of the upstream's connections; at least 1.
 	Connections int
-	// LoanName is the name of the loan that the slot belongs to; empty for a slot
-	// of this process's own share. Each loan has connections of its own.
-	LoanName string
+	// ConnectionName is the name of the connections of the loan that the slot belongs
+	// to; empty for a slot of this process's own share. Each loan has connections of
+	// its own.
+	ConnectionName string
 	// WriteDeadline is the time from which no byte of the request may be written; 0
 	// means no limit and is set for a slot of this process's own share.
 	WriteDeadline clock.Millis
@@ -134,7 +136,7 @@
 // Outcome says how a granted request ended.
 type Outcome = route.Outcome
 
-// The outcomes, as in package route.
+// The outcomes; see package route for their meaning.
 const (
 	OutcomeOK        = route.OutcomeOK
 	OutcomeError     = route.OutcomeError
@@ -166,9 +168,9 @@
 // Status is a copy of the dispatcher's state.
 type Status struct {
 	Version model.Version
-	// Drained is the drained version; see Dispatcher.Drained.
-	Drained model.Version
-	Ready   bool
+	// DrainedVersion is as Dispatcher.DrainedVersion returns it.
+	DrainedVersion model.Version
+	Ready          bool
 	// Pauses counts the detected pauses of this process.
 	Pauses    int
 	Counts    Counts
--- a/core/coord/follow/reporter.go
+++ b/core/coord/follow/reporter.go
@@ -9,8 +9,8 @@
 
 // Timing of the reporter.
 const (
-	// reportTick is the time between two checks whether the drained version, which
-	// moves of instances wait for, has changed.
+	// reportTick is the time between two checks whether the drained version has
+	// changed, which moves and the maintenance of instances wait for.
 	reportTick clock.Millis = 100
 	// ReportInterval is the longest time between two reports. The leader treats an
 	// entry process as silent after three intervals without one.
@@ -31,12 +31,13 @@
 	Incarnation uint64
 	// Version is the version of the table in force.
 	Version model.Version
-	// Drained is the drained version: no request in flight and no loan uses an
-	// instance released at or below it.
-	Drained model.Version
-	// Live lists the announcements that are new or changed since the last report, or
-	// all of them for a new leader.
-	Live []model.Announcement
+	// DrainedVersion is the version of the table up to which the process has carried
+	// out all releases: no request in flight and no loan uses an instance released at
+	// or below it.
+	DrainedVersion model.Version
+	// Changed lists the announcements that are new or changed since the last report,
+	// or all of them when the leader may not have them.
+	Changed []model.Announcement
 	// Gone lists the instances that were announced at the last report and no longer
 	// are.
 	Gone []model.InstanceID
@@ -48,11 +49,12 @@
 
 // Status is the state of the process that the reporter reports.
 type Status struct {
-	Version model.Version
-	Drained model.Version
-	// Live returns the announcements whose lease has not expired. It is called only
-	// for a report, because its cost is proportional to the number of upstreams.
-	Live func() []model.Announcement
+	Version        model.Version
+	DrainedVersion model.Version
+	// LiveAnnouncements returns the announcements whose lease has not expired. It is
+	// called only for a report, because its cost is proportional to the number of
+	// upstreams.
+	LiveAnnouncements func() []model.Announcement
 }
 
 // ReportSender sends reports to the leader of the control group.
@@ -62,8 +64,8 @@
 }
 
 // Reporter reports to the leader: within reportTick when the drained version has
-// changed, because moves of instances wait for it, and otherwise every
-// ReportInterval.
+// changed, because moves and the maintenance of instances wait for it, and otherwise
+// every ReportInterval.
 type Reporter[R ReportSender] struct {
 	self           model.Member
 	incarnation    uint64
@@ -75,13 +77,14 @@
 	clock          clock.Clock
 	done           chan struct{}
 	// reported holds the announcements that were last reported.
-	reported     map[model.InstanceID]model.Announcement
-	lastDrained  model.Version
-	lastReportAt clock.Millis
-	// complete is set once the leader of the current term has all announcements. A
-	// failed report or a new term clears it, because the leader may then have none of
-	// them.
-	complete bool
+	reported           map[model.InstanceID]model.Announcement
+	lastDrainedVersion model.Version
+	lastReportAt       clock.Millis
+	// leaderHasAll is set while the leader of the term has all announcements: the last
+	// report held all of them, or only the changes and went to a leader that had the
+	// others. A failed report or a new term clears it, because the leader may then
+	// have none of them.
+	leaderHasAll bool
 	// term is the term of the leader that received the last report.
 	term uint64
 }
@@ -113,7 +116,7 @@
 func (r *Reporter[R]) tick() {
 	s := r.status()
 	now := r.clock.Now()
-	if s.Drained == r.lastDrained && now-r.lastReportAt < ReportInterval {
+	if s.DrainedVersion == r.lastDrainedVersion && now-r.lastReportAt < ReportInterval {
 		return
 	}
 	rep := r.newReport(s)
@@ -125,16 +128,18 @@
 		r.loadReportedAt = now
 		rep.Load = r.loadReport()
 	}
-	full := !r.complete
+	sentAll := !r.leaderHasAll
 	term, err := r.sender.Report(ctx, rep)
 	if err != nil {
-		r.complete = false
+		r.leaderHasAll = false
 		return
 	}
-	r.complete = full || term == r.term
+	// After a change of the term, a report of only the changes is not enough: the new
+	// leader has not received the earlier reports.
+	r.leaderHasAll = sentAll || term == r.term
 	r.term = term
-	r.lastDrained = s.Drained
-	for _, a := range rep.Live {
+	r.lastDrainedVersion = s.DrainedVersion
+	for _, a := range rep.Changed {
 		r.reported[a.Instance] = a
 	}
 	for _, id := range rep.Gone {
@@ -147,14 +152,14 @@
 func (r *Reporter[R]) newReport(s Status) Report {
 	rep := Report{
 		Process: r.self.Name, Zone: r.self.Zone, Incarnation: r.incarnation,
-		Version: s.Version, Drained: s.Drained,
+		Version: s.Version, DrainedVersion: s.DrainedVersion,
 	}
-	all := s.Live()
+	all := s.LiveAnnouncements()
 	live := make(map[model.InstanceID]bool, len(all))
 	for _, a := range all {
 		live[a.Instance] = true
-		if !r.complete || r.reported[a.Instance] != a {
-			rep.Live = append(rep.Live, a)
+		if !r.leaderHasAll || r.reported[a.Instance] != a {
+			rep.Changed = append(rep.Changed, a)
 		}
 	}
 	for id := range r.reported {
--- a/core/coord/mover/mover.go
+++ b/core/coord/mover/mover.go
@@ -25,7 +25,7 @@
 	// lost. Absence starts when no entry process reports the instance any more,
 	// which is after the lease of its announcement has expired.
 	LossGrace = 2 * clock.Second
-	// callTimeout is the limit for one call to the group or the platform.
+	// callTimeout is the limit for one call to the control group or the platform.
 	callTimeout clock.Millis = 2000
 	// rebootRetryInterval is the time after which a reboot is requested again
 	// when the instance has not restarted.
@@ -127,8 +127,8 @@
 	return m
 }
 
-// reset clears the state that belongs to a term. It need not be kept, because entry
-// processes send complete reports to a new leader.
+// reset clears the state that belongs to a term. A new leader needs none of an earlier
+// term, because entry processes send complete reports to it.
 func (m *Mover[G, P, C, J, A, S]) reset(term uint64) {
 	m.term = term
 	m.registry = NewRegistry()
@@ -215,9 +215,9 @@
 	// the term would discard the report, and entry processes report an unchanged
 	// instance only once in a term.
 	m.followTerm()
-	drainedBefore := m.registry.Processes[i.report.Process].Drained
+	drainedVersionBefore := m.registry.Processes[i.report.Process].DrainedVersion
 	m.registry.AddReport(*i.report, m.Clock.Now())
 	m.load.add(i.report.Load)
 	m.Capacity.RecordDemand(i.report.Process, i.report.Demand, m.Clock.Now())
-	return len(i.report.Live) > 0 || len(i.report.Gone) > 0 || i.report.Drained != drainedBefore
+	return len(i.report.Changed) > 0 || len(i.report.Gone) > 0 || i.report.DrainedVersion != drainedVersionBefore
 }
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -18,8 +18,9 @@
 	Zone        model.Zone
 	Incarnation uint64
 	Version     model.Version
-	// Drained is the drained version; see follow.Report.
-	Drained model.Version
+	// DrainedVersion is the version up to which the process has carried out all
+	// releases; see follow.Report.
+	DrainedVersion model.Version
 	// VersionSince is the time at which the leader first received Version.
 	VersionSince clock.Millis
 	// LastReportAt is the time of the latest report.
@@ -33,9 +34,9 @@
 	// Live holds, for each announced instance, its announcement and the entry
 	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
-	// NewlyAnnounced holds the instances that were announced since the last
-	// ClearEnrolled. A pass enrols them or clears their lost mark. Holding them
-	// keeps the cost of a pass proportional to the changes.
+	// NewlyAnnounced holds the instances that were announced and that ClearEnrolled
+	// has not removed since. A pass enrols them or clears their lost mark. Holding
+	// them keeps the cost of a pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds, for each instance that is reported by no entry process or
 	// only by silent ones, the time since when.
@@ -45,10 +46,10 @@
 	// present: they may never report again and would hide the loss of the
 	// instance.
 	SilentProcesses map[model.Process]bool
-	// DeclaredGone holds the entry processes that were declared gone, with the
+	// GoneProcesses holds the entry processes that were declared gone, with the
 	// time of the declaration. Runs of the process that started before that time
 	// have ended.
-	DeclaredGone map[model.Process]clock.Millis
+	GoneProcesses map[model.Process]clock.Millis
 }
 
 // LiveInstance is an instance that at least one entry process reports.
@@ -87,13 +88,13 @@
 	if r.Version != latest.Version {
 		latest.Version, latest.VersionSince = r.Version, now
 	}
-	latest.Drained = r.Drained
+	latest.DrainedVersion = r.DrainedVersion
 	latest.LastReportAt = now
 	g.Processes[r.Process] = latest
 	if g.SilentProcesses[r.Process] {
 		g.clearSilent(r.Process)
 	}
-	for _, a := range r.Live {
+	for _, a := range r.Changed {
 		g.addAnnouncement(r.Process, a, now)
 	}
 	for _, id := range r.Gone {
@@ -198,12 +199,12 @@
 			continue
 		}
 		r, ok := g.Processes[m.Name]
-		gone, declared := g.DeclaredGone[m.Name]
+		goneAt, declared := g.GoneProcesses[m.Name]
 		// An incarnation is the time at which the run started.
-		if declared && (!ok || clock.Millis(r.Incarnation) < gone) {
+		if declared && (!ok || clock.Millis(r.Incarnation) < goneAt) {
 			continue
 		}
-		if !ok || r.Drained < v {
+		if !ok || r.DrainedVersion < v {
 			missing = append(missing, m.Name)
 		}
 	}
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -203,9 +203,9 @@
 func reportToWire(r follow.Report) *wirepb.ReportRequest {
 	w := &wirepb.ReportRequest{
 		Process: string(r.Process), Zone: string(r.Zone), Incarnation: r.Incarnation,
-		Version: uint64(r.Version), Drained: uint64(r.Drained),
+		Version: uint64(r.Version), Drained: uint64(r.DrainedVersion),
 	}
-	for _, a := range r.Live {
+	for _, a := range r.Changed {
 		w.Live = append(w.Live, codec.AnnouncementToWire(a))
 	}
 	for _, id := range r.Gone {
@@ -230,14 +230,14 @@
 	r := follow.Report{
 		Process: model.Process(w.GetProcess()), Zone: model.Zone(w.GetZone()),
 		Incarnation: w.GetIncarnation(),
-		Version:     model.Version(w.GetVersion()), Drained: model.Version(w.GetDrained()),
+		Version:     model.Version(w.GetVersion()), DrainedVersion: model.Version(w.GetDrained()),
 	}
 	for _, wa := range w.GetLive() {
 		a, err := codec.AnnouncementFromWire(wa)
 		if err != nil {
 			return r, err
 		}
-		r.Live = append(r.Live, a)
+		r.Changed = append(r.Changed, a)
 	}
 	for _, id := range w.GetGone() {
 		r.Gone = append(r.Gone, model.InstanceID(id))
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -12,10 +12,10 @@
 
 	"camphorridge/core/coord/claim"
 	"camphorridge/core/coord/entry"
+	"camphorridge/core/coord/fanout"
 	"camphorridge/core/coord/follow"
 	"camphorridge/core/coord/lender"
 	"camphorridge/core/coord/record"
-	"camphorridge/core/coord/roster"
 	"camphorridge/core/state/admit"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/lend"
@@ -49,22 +49,22 @@
 
 // Entry is a running entry process.
 type Entry struct {
-	cfg      conf.Entry
-	clock    clock.Clock
-	log      *log.Logger
-	recorder *record.Recorder
-	dispatch *dispatcher
-	client   *peers.Client
-	poller   *follow.Poller[*peers.Client]
-	reporter *follow.Reporter[*peers.LeaderClient]
-	roster   *roster.Forwarder[*peers.Client]
-	claimer  *claim.Claimer[*peers.LeaderClient]
-	lender   *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
-	link     *uplink.Client
-	timed    *timedDispatcher
-	front    *front.Handler[*timedDispatcher, *claim.Claimer[*peers.LeaderClient]]
-	events   *ring.Ring[model.Event]
-	leaving  atomic.Bool
+	cfg       conf.Entry
+	clock     clock.Clock
+	log       *log.Logger
+	recorder  *record.Recorder
+	dispatch  *dispatcher
+	client    *peers.Client
+	poller    *follow.Poller[*peers.Client]
+	reporter  *follow.Reporter[*peers.LeaderClient]
+	forwarder *fanout.Forwarder[*peers.Client]
+	claimer   *claim.Claimer[*peers.LeaderClient]
+	lender    *lender.Sender[*peers.Client, *dispatcher, *uplink.Client]
+	link      *uplink.Client
+	timed     *timedDispatcher
+	front     *front.Handler[*timedDispatcher, *claim.Claimer[*peers.LeaderClient]]
+	events    *ring.Ring[model.Event]
+	leaving   atomic.Bool
 }
 
 // RunEntry runs an entry process until a signal stops it, and writes its log to
@@ -110,7 +110,7 @@
 	self := memberOf(cfg.Entries, cfg.Name)
 	e.poller = follow.NewPoller(self, cfg.Controls, cfg.Entries, e.client, e.applyDelta, clk)
 	e.reporter = follow.NewReporter(self, incarnation, leader, e.status, e.dispatch.LoadReport, e.dispatch.Demand, clk)
-	e.roster = roster.New(e.client, e.poller.Neighbours, clk)
+	e.forwarder = fanout.New(e.client, e.poller.Neighbours, clk)
 	e.claimer = claim.New(cfg.Name, incarnation, leader, clk)
 	e.link = uplink.New(uplink.Defaults(), clk)
 	e.lender = lender.New(loanMessages, cfg.Entries, e.client, e.dispatch, e.link, clk)
@@ -155,7 +155,7 @@
 
 func (e *Entry) status() follow.Status {
 	return follow.Status{
-		Version: e.poller.Version(), Drained: e.dispatch.Drained(), Live: e.dispatch.LiveAnnouncements,
+		Version: e.poller.Version(), DrainedVersion: e.dispatch.DrainedVersion(), LiveAnnouncements: e.dispatch.LiveAnnouncements,
 	}
 }
 
@@ -165,7 +165,7 @@
 	if err := e.dispatch.Announce(a); err != nil {
 		return peers.AnnounceResult{}, err
 	}
-	e.roster.Forward(a)
+	e.forwarder.Forward(a)
 	got := peers.AnnounceResult{Lease: e.cfg.Limits.LeaseMillis}
 	if i, ok := e.dispatch.Instance(a.Instance); ok {
 		got.Pool = i.Pool
@@ -208,7 +208,7 @@
 	addServer(g, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce), peerStopTimeout)
 	addComponent(g, e.poller)
 	addComponent(g, e.reporter)
-	addComponent(g, e.roster)
+	addComponent(g, e.forwarder)
 	addComponent(g, e.claimer)
 	addComponent(g, e.lender)
 	addComponent(g, e.link)
@@ -303,16 +303,16 @@
 		{"requests-duplicate", func() int64 { return e.front.Counts().Duplicate }},
 		{"requests-aborted", func() int64 { return e.front.Counts().Aborted }},
 		{"requests-retried", func() int64 { return e.front.Counts().Retries }},
-		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Snapshot().Counts.RingRefused }},
-		{"dispatcher-queued", func() int64 { return e.dispatch.Snapshot().Counts.Queued }},
-		{"dispatcher-expired", func() int64 { return e.dispatch.Snapshot().Counts.Expired }},
-		{"upstream-ejections", func() int64 { return e.dispatch.Snapshot().Counts.Ejections }},
-		{"loans-asked", func() int64 { return e.dispatch.Snapshot().Loans.Requested }},
-		{"loans-refused", func() int64 { return e.dispatch.Snapshot().Loans.Refused }},
-		{"loans-given", func() int64 { return e.dispatch.Snapshot().Loans.Granted }},
-		{"loans-taken", func() int64 { return e.dispatch.Snapshot().Loans.Received }},
-		{"loans-expired", func() int64 { return e.dispatch.Snapshot().Loans.Expired }},
-		{"loans-requests", func() int64 { return e.dispatch.Snapshot().Loans.Used }},
+		{"dispatcher-ring-refused", func() int64 { return e.dispatch.Status().Counts.RingRefused }},
+		{"dispatcher-queued", func() int64 { return e.dispatch.Status().Counts.Queued }},
+		{"dispatcher-expired", func() int64 { return e.dispatch.Status().Counts.Expired }},
+		{"upstream-ejections", func() int64 { return e.dispatch.Status().Counts.Ejections }},
+		{"loans-asked", func() int64 { return e.dispatch.Status().Loans.Requested }},
+		{"loans-refused", func() int64 { return e.dispatch.Status().Loans.Refused }},
+		{"loans-given", func() int64 { return e.dispatch.Status().Loans.Granted }},
+		{"loans-taken", func() int64 { return e.dispatch.Status().Loans.Received }},
+		{"loans-expired", func() int64 { return e.dispatch.Status().Loans.Expired }},
+		{"loans-requests", func() int64 { return e.dispatch.Status().Loans.Used }},
 		{"loans-not-sent", e.lender.Refused},
 		{"connections-opened", func() int64 { return e.link.Counts().Opened }},
 		{"connections-closed", func() int64 { return e.link.Counts().Closed }},
@@ -321,12 +321,12 @@
 		{"responses-without-end", func() int64 { return e.link.Counts().Framing }},
 		{"probes-failed", func() int64 { return e.link.Counts().ProbesFailed }},
 		{"claims-refused", e.claimer.Refused},
-		{"announcements-not-forwarded", e.roster.Refused},
+		{"announcements-not-forwarded", e.forwarder.Refused},
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	registerCounters(r, processCounters(e.client.Traffic))
-	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Snapshot().Loans.LentSlots })
-	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Snapshot().Loans.HeldSlots })
+	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Status().Loans.LentSlots })
+	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Status().Loans.HeldSlots })
 	_ = r.Register("request-wait-ms", e.timed.waitMillis)
 	_ = r.Register("request-elapsed-ms", e.timed.elapsedMillis)
 	_ = admin.RegisterGauge(r, "table-version", func() int64 { return int64(e.poller.Version()) })
