--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -92,14 +92,14 @@
 	return p.upstreams[instance]
 }
 
-// Record returns the requests that all upstreams have handled, including those
+// HandledRequests returns the requests that all upstreams have handled, including those
 // before reboots, in the order of their start.
-func (p *Platform) Record() []HandledRequest {
+func (p *Platform) HandledRequests() []HandledRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := append([]HandledRequest(nil), p.history...)
 	for _, u := range p.upstreams {
-		out = append(out, u.Record()...)
+		out = append(out, u.HandledRequests()...)
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].Started < out[j].Started })
 	return out
@@ -148,7 +148,7 @@
 func (p *Platform) saveRecord(u *Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.history = append(p.history, u.Record()...)
+	p.history = append(p.history, u.HandledRequests()...)
 }
 
 // handleReboot starts the reboot of an instance and doesn't wait for its end.
@@ -205,7 +205,7 @@
 // concurrent requests on one instance, and the number of reboots.
 func (p *Platform) handleSummary(w http.ResponseWriter, _ *http.Request) {
 	counts := map[string]int{}
-	for _, r := range p.Record() {
+	for _, r := range p.HandledRequests() {
 		counts[r.Pool]++
 	}
 	p.mu.Lock()
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -173,8 +173,8 @@
 	return err
 }
 
-// Record returns a copy of the requests that the upstream has handled.
-func (u *Upstream) Record() []HandledRequest {
+// HandledRequests returns a copy of the requests that the upstream has handled.
+func (u *Upstream) HandledRequests() []HandledRequest {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return append([]HandledRequest(nil), u.requests...)
--- a/tests/announcement_test.go
+++ b/tests/announcement_test.go
@@ -77,7 +77,7 @@
 		assert.Equal(t, status, http.StatusConflict)
 		assert.Assert(t, strings.Contains(reason, "incarnation"), "%s", reason)
 	}
-	assert.Assert(t, len(successor.Record()) >= 3)
+	assert.Assert(t, len(successor.HandledRequests()) >= 3)
 	assert.Equal(t, successor.RejectionReason(), "")
 }
 
--- a/tests/lend_test.go
+++ b/tests/lend_test.go
@@ -79,7 +79,7 @@
 	s.wait("the long request to run", func() bool { return s.runCount("long") == 1 })
 	instance, u := "", (*stand.Upstream)(nil)
 	finished := func() (ok bool) {
-		for _, r := range u.Record() {
+		for _, r := range u.HandledRequests() {
 			ok = ok || r.ID == "long" && r.Finished
 		}
 		return ok
--- a/tests/release_test.go
+++ b/tests/release_test.go
@@ -70,7 +70,7 @@
 		},
 	}
 	for _, tt := range tests {
-		s.wait(tt.instance+" to run requests", func() bool { return len(platform.Upstream(tt.instance).Record()) > 20 })
+		s.wait(tt.instance+" to run requests", func() bool { return len(platform.Upstream(tt.instance).HandledRequests()) > 20 })
 		tt.stop()
 		s.retryCLI("maintenance", "declare", tt.instance, "--instance", tt.instance, "--deadline", "1h", "--author", "test")
 		for _, command := range [][]string{{"status"}, {"explain", "instance", tt.instance}} {
@@ -90,7 +90,7 @@
 		tt.resume()
 		from, to := s.waitForMaintenance(tt.instance)
 		assert.Assert(t, platform.Reboots(tt.instance) >= 1)
-		for _, r := range platform.Record() {
+		for _, r := range platform.HandledRequests() {
 			started := int64(r.Started)
 			assert.Assert(t, r.Instance != tt.instance || started < from || started >= to,
 				"%s ran %s through %s at %d, between its release at %d and its return at %d", r.Instance, r.ID, r.Entry, started, from, to)
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -231,12 +231,12 @@
 			}
 		}()
 	}
-	s.wait("requests on the upstream", func() bool { return len(u.Record()) > 20 })
+	s.wait("requests on the upstream", func() bool { return len(u.HandledRequests()) > 20 })
 	u.Leave()
 	time.Sleep(3 * time.Second)
-	before := len(u.Record())
+	before := len(u.HandledRequests())
 	time.Sleep(2 * time.Second)
-	after := len(u.Record())
+	after := len(u.HandledRequests())
 	close(stop)
 	wg.Wait()
 	assert.Equal(t, after, before)
--- a/tests/surge_test.go
+++ b/tests/surge_test.go
@@ -89,7 +89,7 @@
 	lastRun := map[string]stand.HandledRequest{}
 	busyUntil := map[string]clock.Millis{}
 	for _, p := range s.platforms {
-		for _, r := range p.Record() {
+		for _, r := range p.HandledRequests() {
 			before, ok := lastRun[r.Instance]
 			if ok && before.Pool != r.Pool {
 				moves++
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -414,7 +414,7 @@
 func (s *system) handledRequests() []stand.HandledRequest {
 	var all []stand.HandledRequest
 	for _, platform := range s.platforms {
-		all = append(all, platform.Record()...)
+		all = append(all, platform.HandledRequests()...)
 	}
 	return all
 }
