--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -41,18 +41,18 @@
 	upCmd.String(&up.platform, "", "platform", "address of the platform's interface")
 	upCmd.String(&up.announce, "", "announce", "upstream-facing addresses of entry processes, separated by commas")
 	upCmd.String(&up.pools, "", "pools", "number of instances of each pool, such as merge=4,portal=2")
-	upCmd.String(&up.delay, "", "delay", "how long a request takes")
-	upCmd.String(&up.reboot, "", "reboot", "how long a reboot takes")
+	upCmd.String(&up.delay, "", "delay", "duration of a request")
+	upCmd.String(&up.reboot, "", "reboot", "duration of a reboot")
 	ldCmd := flaggy.NewSubcommand("load")
 	ldCmd.Description = "send a limited number of requests"
 	ldCmd.String(&ld.entries, "", "entries", "caller-facing addresses of entry processes, separated by commas")
 	ldCmd.String(&ld.service, "", "service", "service to send the requests to")
-	ldCmd.String(&ld.customer, "", "customer", "customer who sends the requests")
-	ldCmd.String(&ld.pause, "", "pause", "pause between two requests of one sender")
+	ldCmd.String(&ld.customer, "", "customer", "customer that sends the requests")
+	ldCmd.String(&ld.pause, "", "pause", "pause of each sender between an answer and its next request")
 	ldCmd.String(&ld.timeout, "", "timeout", "timeout of one request")
-	ldCmd.String(&ld.prefix, "", "prefix", "prefix of the names of requests")
+	ldCmd.String(&ld.prefix, "", "prefix", "prefix of the IDs of requests")
 	ldCmd.Int(&ld.requests, "", "requests", "number of requests")
-	ldCmd.Int(&ld.workers, "", "workers", "number of requests in flight at the same time")
+	ldCmd.Int(&ld.workers, "", "workers", "maximum number of requests in flight at the same time")
 	ldCmd.Bool(&ld.keyed, "", "keyed", "give each request an idempotency key")
 	flaggy.SetName("standin")
 	flaggy.AttachSubcommand(upCmd, 1)
@@ -67,7 +67,7 @@
 	case ldCmd.Used:
 		err = runLoad(ctx, ld)
 	default:
-		flaggy.ShowHelpAndExit("name a subcommand")
+		flaggy.ShowHelpAndExit("the subcommand is missing: upstreams or load")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -111,7 +111,7 @@
 	return nil
 }
 
-// runLoad sends the requests and prints the number of answers of each kind.
+// runLoad sends the requests and prints the number of answers by status and outcome.
 func runLoad(ctx context.Context, f loadFlags) error {
 	pause, err := time.ParseDuration(f.pause)
 	if err != nil {
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -20,18 +20,18 @@
 	Entries  []string
 	Service  string
 	Customer string
-	// Requests is the total number of requests, and Concurrency the number in
-	// flight at the same time.
+	// Requests is the total number of requests, and Concurrency the maximum number
+	// in flight at the same time.
 	Requests    int
 	Concurrency int
-	// IdempotencyKeys gives each request an idempotency key.
+	// IdempotencyKeys makes each request carry its ID as its idempotency key.
 	IdempotencyKeys bool
-	// Pause is the time between an answer and the next request of the same
-	// goroutine.
+	// Pause is the time that each of the Concurrency senders waits between an answer
+	// and its next request.
 	Pause time.Duration
 	// Timeout is the timeout of one request.
 	Timeout time.Duration
-	// Prefix is the start of each request's name.
+	// Prefix is the prefix of each request's ID.
 	Prefix string
 }
 
@@ -40,15 +40,17 @@
 	ID      string
 	Status  int
 	Outcome string
-	// Err is set if no complete and correct answer came.
+	// Err is set if there was no answer, or one that is incomplete or belongs to
+	// another request.
 	Err     error
 	Elapsed clock.Millis
 }
 
-// Summary holds and counts the answers to a load.
+// Summary holds the answers to a load and their counts.
 type Summary struct {
 	Answers []Answer
-	// Counts holds the number of answers by status and outcome.
+	// Counts holds the number of answers by status and outcome, such as "200 ran".
+	// Its key is "error" for answers with an Err.
 	Counts map[string]int
 }
 
--- a/internal/stand/network.go
+++ b/internal/stand/network.go
@@ -8,9 +8,9 @@
 
 // ClaimNetwork claims a loopback network 127.octet.x.y that no other test run on
 // this machine uses, so that the addresses of concurrent runs don't collide. The
-// claim is a listener on the given port of one address of the network: it excludes
-// other runs that use the same port, until it is closed. ClaimNetwork returns an
-// error if all networks are claimed.
+// claim is a listener on the given port of one address of the network. Until it is
+// closed, no other run that claims with the same port gets the network. ClaimNetwork
+// returns an error if all networks are claimed.
 func ClaimNetwork(port int) (octet int, claim net.Listener, err error) {
 	const tries = 200
 	for i := range tries {
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -17,32 +17,32 @@
 // drained instance has none.
 const rebootGrace = 5 * time.Second
 
-// Platform is a stand-in for the platform. It runs several stand-in upstreams in
-// one process and reboots them on request.
+// Platform is a stand-in for the platform. It runs stand-in upstreams in this
+// process and reboots them on request.
 type Platform struct {
 	// RebootTime is how long an instance is down during a reboot.
 	RebootTime time.Duration
 	mu         sync.Mutex
-	// upstreams holds the running upstreams by instance.
+	// upstreams holds the running upstream of each instance.
 	upstreams map[string]*Upstream
-	// reboots is the number of reboots by instance.
+	// reboots holds the number of reboots of each instance.
 	reboots map[string]int
-	// history holds the requests of upstreams that have stopped.
+	// history holds the requests that stopped upstreams have handled.
 	history    []HandledRequest
 	server     *http.Server
 	listener   net.Listener
 	goroutines sync.WaitGroup
 }
 
-// StartPlatform starts the upstreams, and the platform's HTTP interface at an
-// address.
-func StartPlatform(address string, reboot time.Duration, all []Options) (*Platform, error) {
+// StartPlatform starts the given upstreams, and the platform's HTTP interface at the
+// given address.
+func StartPlatform(address string, rebootTime time.Duration, all []Options) (*Platform, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in platform: %w", err)
 	}
 	p := &Platform{
-		RebootTime: reboot, listener: l,
+		RebootTime: rebootTime, listener: l,
 		upstreams: map[string]*Upstream{}, reboots: map[string]int{},
 	}
 	for _, o := range all {
@@ -70,7 +70,8 @@
 // Addr returns the address of the platform's interface.
 func (p *Platform) Addr() string { return p.listener.Addr().String() }
 
-// Close stops the HTTP interface and all upstreams at once.
+// Close stops the HTTP interface, waits for reboots to end, and stops all upstreams
+// without finishing their requests.
 func (p *Platform) Close() {
 	_ = p.server.Close()
 	p.goroutines.Wait()
@@ -92,8 +93,8 @@
 	return p.upstreams[instance]
 }
 
-// HandledRequests returns the requests that all upstreams have handled, including those
-// before reboots, in the order of their start.
+// HandledRequests returns the requests that all upstreams have handled, including
+// those before reboots, sorted by their start.
 func (p *Platform) HandledRequests() []HandledRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,14 +113,15 @@
 	return p.reboots[instance]
 }
 
-// Kill stops an upstream at once, as a crash does. Its record is kept.
+// Kill stops an upstream immediately, as a crash does. The requests that it has
+// handled are kept.
 func (p *Platform) Kill(instance string) {
 	u := p.remove(instance)
 	if u == nil {
 		return
 	}
 	u.Close()
-	p.saveRecord(u)
+	p.saveRequests(u)
 }
 
 // Start starts an upstream that is down, with a higher incarnation than before, as
@@ -144,14 +146,15 @@
 	return u
 }
 
-// saveRecord keeps the requests of an upstream that has stopped.
-func (p *Platform) saveRecord(u *Upstream) {
+// saveRequests adds the requests of a stopped upstream to the history.
+func (p *Platform) saveRequests(u *Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.history = append(p.history, u.HandledRequests()...)
 }
 
-// handleReboot starts the reboot of an instance and doesn't wait for its end.
+// handleReboot starts the reboot of an instance and answers without waiting for its
+// end.
 func (p *Platform) handleReboot(w http.ResponseWriter, r *http.Request) {
 	instance := r.URL.Query().Get("instance")
 	u := p.remove(instance)
@@ -179,7 +182,7 @@
 	o.Pool = u.CurrentPool()
 	o.Address = u.Addr()
 	_ = u.Shutdown(ctx)
-	p.saveRecord(u)
+	p.saveRequests(u)
 	<-clk.After(clock.FromDuration(p.RebootTime))
 	next, err := Start(o)
 	if err != nil {
@@ -190,7 +193,7 @@
 	p.mu.Unlock()
 }
 
-// handleLeave makes an instance announce that it leaves.
+// handleLeave makes an instance announce that it is leaving.
 func (p *Platform) handleLeave(w http.ResponseWriter, r *http.Request) {
 	u := p.Upstream(r.URL.Query().Get("instance"))
 	if u == nil {
--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// SilenceConnections makes the open connections silent forever, while new ones
-// work, like a middlebox that has lost its state.
+// SilenceConnections makes the open connections silent until they are reset, while
+// new ones work, as when a middlebox has lost its connection state.
 func (r *Relay) SilenceConnections() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,7 +81,7 @@
 }
 
 // waitForward waits while the relay, or a connection of the given generation, is
-// silent. It reports whether the connection can go on to forward.
+// silent. It then reports whether the connection may forward data.
 func (r *Relay) waitForward(generation int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -123,7 +123,8 @@
 	<-done
 }
 
-// copy forwards data in one direction and signals its end on done.
+// copy forwards data in one direction, and sends on done when it ends. While the
+// connection is silent, the end of the stream is not passed on either.
 func (r *Relay) copy(to, from net.Conn, generation int, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 32<<10)
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -22,9 +22,9 @@
 const (
 	// FaultHeader names the fault to inject.
 	FaultHeader = "Stand-Fault"
-	// DelayHeader is how long the request takes, in milliseconds.
+	// DelayHeader holds how long the request takes, in milliseconds.
 	DelayHeader = "Stand-Delay-Ms"
-	// IDHeader is the caller's name for the request, which is recorded.
+	// IDHeader holds the caller's ID of the request, which is recorded.
 	IDHeader = "Stand-Id"
 )
 
@@ -40,27 +40,29 @@
 	FaultClose = "close"
 	// FaultNotRun refuses the request as not run.
 	FaultNotRun = "not-run"
-	// FaultNoLength answers without a length and closes the connection.
+	// FaultNoLength answers without a Content-Length and closes the connection.
 	FaultNoLength = "no-length"
-	// FaultWrongID answers with the request id of another request.
+	// FaultWrongID answers with the request ID of another request.
 	FaultWrongID = "crossed"
 )
 
-// HandledRequest is one request that a stand-in upstream has handled.
+// HandledRequest is one request that a stand-in upstream handles or has handled.
 type HandledRequest struct {
+	// Seq is the number of requests that the upstream recorded before this one.
 	Seq      int
 	ID       string
 	Method   string
 	Path     string
 	Pool     string
 	Instance string
-	Entry    string
-	Started  clock.Millis
+	// Entry is the value of the request's header Camphorridge-Entry.
+	Entry   string
+	Started clock.Millis
 	// Ended is 0 while the request is being handled.
 	Ended clock.Millis
 	// Finished reports whether the handler has written its whole answer.
 	Finished bool
-	// Cut reports whether the request ended before the whole answer was written.
+	// Cut reports whether the handler ended before it had written its whole answer.
 	Cut bool
 }
 
@@ -73,7 +75,8 @@
 	Slots       int
 	Connections int
 	// AnnounceTo lists the upstream-facing addresses of the zone's entry
-	// processes. Each announcement goes to one of them.
+	// processes. Each announcement goes to one of them. If it is empty, the upstream
+	// doesn't announce itself.
 	AnnounceTo []string
 	// Delay is how long a request takes if it has no DelayHeader.
 	Delay time.Duration
@@ -139,7 +142,7 @@
 	return u.Addr()
 }
 
-// Close stops the upstream at once, as if its process were killed.
+// Close stops the upstream immediately, as if its process were killed.
 func (u *Upstream) Close() {
 	u.stop()
 	_ = u.server.Close()
@@ -173,7 +176,8 @@
 	return err
 }
 
-// HandledRequests returns a copy of the requests that the upstream has handled.
+// HandledRequests returns a copy of the requests that the upstream has recorded, in
+// the order of their start.
 func (u *Upstream) HandledRequests() []HandledRequest {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -265,8 +269,8 @@
 	finished = u.writeAnswer(w, r, fault, body)
 }
 
-// delay waits for as long as the request has to take. It returns false if the
-// connection closed or the upstream was stopped in the meantime.
+// delay waits for as long as the request should take. It returns false if the
+// connection is closed or the upstream is stopped in the meantime.
 func (u *Upstream) delay(r *http.Request) bool {
 	d := u.Delay
 	if ms, err := strconv.Atoi(r.Header.Get(DelayHeader)); err == nil {
@@ -290,8 +294,8 @@
 	}
 }
 
-// writeAnswer writes the answer, with the fault if there is one, and reports whether
-// it wrote the whole answer.
+// writeAnswer writes the answer, with the given fault if any, and reports whether it
+// wrote the whole answer.
 func (u *Upstream) writeAnswer(w http.ResponseWriter, r *http.Request, fault string, body []byte) bool {
 	text := fmt.Sprintf("%s %s %s %d\n", u.Instance, r.Header.Get(IDHeader), r.URL.Path, len(body))
 	switch fault {
@@ -313,8 +317,9 @@
 	return true
 }
 
-// answerWithoutLength ends the body by closing the connection, so that the reader
-// can't tell a complete answer from a truncated one.
+// answerWithoutLength writes an answer whose end is marked only by the end of the
+// connection, so that the reader can't tell a complete answer from a truncated one.
+// It reports whether it wrote the whole answer.
 func (u *Upstream) answerWithoutLength(w http.ResponseWriter, text string) bool {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -341,7 +346,7 @@
 }
 
 // reannounceLease is the assumed lease after a change of pool. It is short so that
-// the change is announced at once.
+// the change is announced immediately.
 const reannounceLease = 10 * time.Millisecond
 
 // defaultLease is the assumed lease if no entry process has granted one.
@@ -349,8 +354,9 @@
 
 var announceClient = &http.Client{Timeout: 500 * time.Millisecond}
 
-// AnnounceOnce sends one announcement to the first entry process that answers, and
-// returns the lease. Successive calls start with different entry processes.
+// AnnounceOnce tries the entry processes in turn until one answers the announcement,
+// and returns the lease. It starts with an entry process that depends on the time, so
+// that the announcements are spread over all of them.
 func (u *Upstream) AnnounceOnce(ctx context.Context) time.Duration {
 	u.mu.Lock()
 	form := u.announcement()
@@ -382,9 +388,9 @@
 	}
 }
 
-// applyAnswer applies the answer to an announcement and returns the lease. An
-// instance that has been assigned to another pool serves that pool from then on,
-// with a higher incarnation.
+// applyAnswer applies the answer to an announcement and returns the lease. If the
+// answer assigns the instance to another pool, the upstream serves that pool from
+// then on, with a higher incarnation.
 func (u *Upstream) applyAnswer(answer url.Values, status int) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
