--- a/tests/announcement_test.go
+++ b/tests/announcement_test.go
@@ -47,8 +47,8 @@
 }
 
 // TestUpstreamReplaced guards against requests that keep failing after their
-// upstream was killed, and against a successor under the same name that gets no
-// requests or is confused with the process before it.
+// upstream was killed, and against a successor for the same instance that gets no
+// requests or is confused with the killed process.
 func TestUpstreamReplaced(t *testing.T) {
 	s := startServing(t, threeZones("merge", "merge"))
 	platform := s.platforms["za"]
@@ -82,8 +82,8 @@
 }
 
 // TestContradictingAnnouncements guards against an instance that serves two
-// pools, and against two processes under one name, because an entry process
-// believed the second of two contradicting announcements.
+// pools, and against two processes for one instance, because an entry process
+// accepted the second of two contradicting announcements.
 func TestContradictingAnnouncements(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
 	first := announcement("za-x00", s.newIP()+":9000")
@@ -98,10 +98,10 @@
 		{"another zone", "zone", "zb"},
 	}
 	for _, tt := range tests {
-		// The other entry processes of the zone learn of the instance from the first.
+		// The other entry processes of the zone learn of the instance from e1.
 		for _, e := range s.entries[:3] {
 			s.wait(e.name+" to refuse "+tt.name, func() bool {
-				// The lease of the instance must not expire meanwhile.
+				// Renew the lease of the instance, so that it does not expire meanwhile.
 				renewed, _ := announce(t, s.find("e1"), first.Encode())
 				assert.Equal(t, renewed, http.StatusOK)
 				if e.name != "e1" && !s.recordedInstance(e, "za-x00") {
@@ -122,8 +122,8 @@
 	}
 }
 
-// recordedInstance reports whether the events of an entry process mention an
-// instance.
+// recordedInstance reports whether the event log of an entry process contains the
+// name of an instance.
 func (s *system) recordedInstance(e *process, instance string) bool {
 	resp, err := probeClient.Get("http://" + e.adminAddr + "/events")
 	if err != nil {
--- a/tests/control_test.go
+++ b/tests/control_test.go
@@ -53,9 +53,9 @@
 }
 
 // TestLeaderFrozenAndResumed guards against a former leader that answers from
-// its old state when it continues, and against changes that are lost by the
-// freeze. The queries wait at the frozen process and are the first that it
-// handles.
+// stale state when it continues after a freeze, and against changes that the freeze
+// loses. The queries are sent while the process is frozen, so that it handles them
+// first when it continues.
 func TestLeaderFrozenAndResumed(t *testing.T) {
 	s := startSystem(t, controlGroupLayout())
 	s.status()
@@ -87,7 +87,7 @@
 		for out := range answers {
 			held, err := parseDeclarations(out)
 			assert.NilError(t, err)
-			assert.Assert(t, held[name].Version > 0, "a status was answered without the accepted change %s", name)
+			assert.Assert(t, held[name].Version > 0, "the list of maintenance lacks the accepted declaration %s", name)
 		}
 		s.waitCaughtUp(old)
 	}
@@ -96,8 +96,8 @@
 }
 
 // TestRestartAfterManyChanges guards against changes that are lost when all
-// members restart at the same time from snapshots and logs. One member is
-// stopped, two are killed.
+// members restart at the same time from snapshots and logs, after one was stopped
+// and two were killed.
 func TestRestartAfterManyChanges(t *testing.T) {
 	s := startSystem(t, controlGroupLayout())
 	s.status()
@@ -119,9 +119,8 @@
 }
 
 // TestEmptyDataFolder guards against a member with an empty data folder that
-// votes under its old identity, or that never becomes a member again. After it
-// has rejoined, another member is killed, so that the group needs it for a
-// majority.
+// votes under its old ID, or that never becomes a voting member again. After it has
+// rejoined, the leader is killed, so that the group needs it for a majority.
 func TestEmptyDataFolder(t *testing.T) {
 	s := startSystem(t, controlGroupLayout())
 	results, wg := s.startDeclaring("before", 8, 150, nil)
@@ -132,7 +131,7 @@
 	assert.Equal(t, s.stop(emptied.name), 0)
 	assert.NilError(t, os.RemoveAll(emptied.dataFolder))
 	s.startProcess(emptied)
-	s.wait("the new identity to vote", func() bool {
+	s.wait("the member to vote under a new ID", func() bool {
 		id := hello(emptied).GetId()
 		// The answer lists the members only while all of them vote.
 		return slices.ContainsFunc(hello(s.leader()).GetFounders(), func(m *wirepb.GroupMember) bool {
@@ -148,8 +147,8 @@
 	results.check(s)
 }
 
-// hello returns a control process's answer to a hello call, or nil if it gives
-// none.
+// hello returns a control process's answer to a Hello call, or nil if the call
+// fails.
 func hello(p *process) *wirepb.HelloResponse {
 	c := wirepb.NewConsensusProtobufClient("http://"+p.peerAddr, probeClient)
 	r, err := c.Hello(context.Background(), &wirepb.HelloRequest{})
@@ -159,10 +158,11 @@
 	return r
 }
 
-// TestPartitionedMemberCatchesUp guards against a member that was cut off,
-// without a connection reset, for so long that the others dropped the log
-// entries that it needs. It must catch up by a snapshot, force no election, and
-// be a full member afterwards.
+// TestPartitionedMemberCatchesUp guards against a member that doesn't catch up, or
+// that forces an election, after a partition without connection resets. The
+// partition lasts until the other members have dropped the log entries that the
+// member needs, so that it must catch up by a snapshot. Then the leader is killed, so
+// that the group needs it for a majority.
 func TestPartitionedMemberCatchesUp(t *testing.T) {
 	l := controlGroupLayout()
 	l.entries = []string{"za", "zb", "zc"}
@@ -178,7 +178,7 @@
 		}
 	}
 	// Each keyed request makes two log entries. The members keep the last 1,000
-	// entries before a snapshot.
+	// entries that a snapshot contains.
 	load := stand.Load{
 		Entries: reachable, Service: "merge", Customer: "acme", Requests: 700, Concurrency: 2,
 		IdempotencyKeys: true, Timeout: 20 * time.Second, Prefix: "cut",
@@ -214,8 +214,8 @@
 
 // TestTornLastRecord guards against a member that does not start, or that takes
 // a partly written record for an entry, after a crash during its last write.
-// The last record of a leader that ran alone is cut short, and the log of a
-// follower gets the start of one more record.
+// The last record of a leader that ran alone is truncated, and the start of one more
+// record is appended to the log of a follower.
 func TestTornLastRecord(t *testing.T) {
 	l := controlGroupLayout()
 	l.controlSettings = "[consensus]\nsnapshot-every = 1000\n"
@@ -258,9 +258,9 @@
 	assert.Equal(t, s.runCount("torn"), 0)
 }
 
-// TestTornAcknowledgedRecord guards against a member that is never a full
-// member again after its disk lost the end of a record that it had
-// acknowledged. The others have the entry and must send it again.
+// TestTornAcknowledgedRecord guards against a member that never catches up again
+// after its disk lost the end of a record that it had acknowledged. The others have
+// the entry and must send it again.
 func TestTornAcknowledgedRecord(t *testing.T) {
 	s := startSystem(t, controlGroupLayout())
 	results, wg := s.startDeclaring("torn", 4, 60, nil)
--- a/tests/idle_test.go
+++ b/tests/idle_test.go
@@ -44,12 +44,13 @@
 	return b.String()
 }
 
-// idlePeriod is how long the idle processes are measured.
+// idlePeriod is how long the benchmark measures the idle processes.
 const idlePeriod = 10 * time.Second
 
-// BenchmarkIdleProcesses reports what the processes cost while nothing changes,
-// as the mean over the processes of each role. It does so for fleets of
-// different sizes: the slope is the cost of an instance.
+// BenchmarkIdleProcesses reports the CPU time, the memory and the traffic of the
+// processes while nothing changes, as the mean over the processes of each role. It
+// does so for fleets of different sizes, whose differences show the cost per
+// instance.
 func BenchmarkIdleProcesses(b *testing.B) {
 	for _, c := range []struct{ perZone, leaseMillis int }{{17, 3000}, {170, 3000}, {510, 3000}, {17, 15000}, {255, 15000}, {510, 15000}} {
 		perZone := c.perZone
@@ -72,8 +73,8 @@
 	}
 }
 
-// reportIdleCost reports the CPU time, the memory and the bytes per second of
-// the processes of one role, each as the mean over the processes.
+// reportIdleCost reports the CPU use, the memory, and the bytes of control traffic
+// per second of the processes of one role, each as the mean over the processes.
 func (s *system) reportIdleCost(b *testing.B, all []*process, role string) {
 	before := make([]map[string]float64, len(all))
 	for i, p := range all {
@@ -90,7 +91,7 @@
 		}
 	}
 	n, seconds := float64(len(all)), idlePeriod.Seconds()
-	// The metric is in ms, so that 10 ms in a second are 1 %.
+	// The metric is in ms: 10 ms of CPU time per second are 1 % of a core.
 	b.ReportMetric(cpu/n/seconds/10, role+"-core-%")
 	b.ReportMetric(memory/n/(1<<20), role+"-MiB")
 	b.ReportMetric(bytes/n/seconds/1024, role+"-KiB/s")
--- a/tests/lend_test.go
+++ b/tests/lend_test.go
@@ -39,7 +39,8 @@
 // TestLoansServeOtherZones guards against a zone without upstreams that refuses
 // its requests, against loans that let an upstream run more requests than it
 // has slots, against an instance that is rebooted while a loan of its slots is
-// in use, and against loans that outlast the connection to their lender.
+// in use, and against loans that stay in use after a partition cuts the borrower off
+// from the lender.
 func TestLoansServeOtherZones(t *testing.T) {
 	s := startServing(t, upstreamsInOneZone(4))
 	load := stand.Load{
@@ -60,7 +61,7 @@
 			case "ran":
 				ran[strings.TrimRight(a.ID, "0123456789")]++
 			case "not-run":
-				assert.Equal(t, s.runCount(a.ID), 0, "request %s was refused and ran", a.ID)
+				assert.Equal(t, s.runCount(a.ID), 0, "request %s was refused but ran", a.ID)
 			default:
 				t.Fatalf("request %s ended with outcome %q", a.ID, a.Outcome)
 			}
@@ -68,7 +69,7 @@
 	}
 	t.Logf("ran: %v", ran)
 	assert.Assert(t, ran["spillmerge-"] > 100, "%v", ran)
-	assert.Assert(t, s.maxRunning() <= 8, "an upstream ran %d requests at once", s.maxRunning())
+	assert.Assert(t, s.maxRunning() <= 8, "an upstream ran %d requests at the same time", s.maxRunning())
 
 	h := http.Header{stand.IDHeader: {"long"}, stand.DelayHeader: {"3000"}, "Camphorridge-Timeout-Ms": {"20000"}}
 	done := make(chan error, 1)
@@ -113,7 +114,7 @@
 }
 
 // BenchmarkLending reports the requests served with lending off and on. The
-// load goes through the zones that have no upstream, through one of the three
+// load goes through the zones that have no upstreams, through one of the three
 // entry processes of the zone that has them, or through all three, which need
 // no loans.
 func BenchmarkLending(b *testing.B) {
@@ -127,7 +128,7 @@
 				l.entrySettings = fmt.Sprintf("[lending]\nlease-ms = %d\n", leaseMillis)
 				for b.Loop() {
 					s := startSystem(b, l)
-					// The concurrency of the contract must not be the limit; the slots must.
+					// This concurrency is so high that only the slots limit the load.
 					s.concurrency = 224
 					s.applyContract("acme", 4, "merge")
 					s.waitReady()
--- a/tests/maintenance_test.go
+++ b/tests/maintenance_test.go
@@ -15,9 +15,9 @@
 	"camphorridge/internal/stand"
 )
 
-// watchDisruption polls the instances until stop is closed. It sends each
-// violation of the disruption budget, which allows one instance out of service
-// at a time, to violations.
+// watchDisruption polls the instances until stop is closed. It sends a message to
+// violations for each violation of the disruption budget, which allows one instance
+// out of service at a time.
 func (s *system) watchDisruption(stop <-chan struct{}, violations chan<- string) {
 	defer close(violations)
 	var before []string
@@ -41,11 +41,11 @@
 			lost = lost || strings.HasPrefix(i.Reason, "lost:")
 		}
 		if len(out) > 1 {
-			violations <- fmt.Sprintf("%v are out of service at once", out)
+			violations <- fmt.Sprintf("%v are out of service at the same time", out)
 		}
 		for _, id := range out {
 			if lost && lostBefore && !slices.Contains(before, id) {
-				violations <- fmt.Sprintf("%s was taken out while another instance was lost", id)
+				violations <- fmt.Sprintf("%s was taken out of service while another instance was lost", id)
 			}
 		}
 		before, lostBefore = out, lost
@@ -114,9 +114,9 @@
 }
 
 // checkAnswers compares the answers of a load with the requests that the
-// upstreams handled. Only requests on the killed upstream, or through the
-// killed entry process, may have been cut off. entry is the index of that
-// process.
+// upstreams handled. Only requests on the killed upstream, or through the killed
+// entry process, may have been cut off. upstream is the instance of the former, and
+// entry the index of the latter.
 func (s *system) checkAnswers(sum stand.Summary, upstream string, entry int) {
 	s.t.Helper()
 	ran := map[string][]string{}
@@ -137,10 +137,10 @@
 		case a.Outcome == "ran":
 			assert.Equal(s.t, len(ran[a.ID]), 1, "%s ran on %v", a.ID, ran[a.ID])
 		case a.Outcome == "not-run":
-			assert.Equal(s.t, len(ran[a.ID]), 0, "%s was refused and ran on %v", a.ID, ran[a.ID])
+			assert.Equal(s.t, len(ran[a.ID]), 0, "%s was refused but ran on %v", a.ID, ran[a.ID])
 		default:
 			expected := through.zone == "zb" && (len(ran[a.ID]) == 0 || ran[a.ID][0] == upstream)
-			assert.Assert(s.t, expected, "%s through %s ended %d %s and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
+			assert.Assert(s.t, expected, "%s through %s ended with status %d and outcome %q, and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
 		}
 	}
 	s.t.Logf("%s", sum)
--- a/tests/once_test.go
+++ b/tests/once_test.go
@@ -22,7 +22,8 @@
 	for _, method := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE"} {
 		for _, body := range []string{"", "body"} {
 			for _, key := range []string{"", "Idempotency-Key", "X-Idempotency-Key"} {
-				// This request leaves an idle connection to reuse.
+				// This request leaves an idle connection to the upstream, which the next
+				// request reuses.
 				status, _, _, err := call(t, entry, "merge", nil)
 				assert.NilError(t, err)
 				assert.Equal(t, status, http.StatusOK)
@@ -47,7 +48,7 @@
 }
 
 // TestLateAnswerDoesNotReachNextRequest guards against an answer that arrives
-// after its request has timed out, and is passed on as the answer to the next
+// after its request has timed out, and is forwarded as the answer to the next
 // request.
 func TestLateAnswerDoesNotReachNextRequest(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
--- a/tests/operators_test.go
+++ b/tests/operators_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// writeContract writes a contract for two instances of the pool merge and
-// returns the path of the file.
+// writeContract writes a contract for two instances of the pool merge to a file and
+// returns the file's path.
 func (s *system) writeContract(name string, queue int) string {
 	s.t.Helper()
 	text := fmt.Sprintf("[contract]\ncustomer = acme\ncovers = instance\nqueue = %d\n[pool merge]\ninstances = 2\n"+
@@ -18,14 +18,16 @@
 	return s.writeFile(name+".ini", text)
 }
 
-// commandResult is the output of a command and its error, if any.
+// commandResult is the output of an operator's command and its error, if any. author
+// is the operator.
 type commandResult struct {
 	author, out string
 	err         error
 }
 
 // TestConcurrentApplies guards against two operators who change a contract from
-// the same version and are both told that their change is accepted.
+// the same base version at the same time, and are both told that their change is
+// accepted.
 func TestConcurrentApplies(t *testing.T) {
 	s := startSystem(t, controlGroupLayout())
 	out := s.retryCLI("contract", "apply", s.writeContract("first", 100), "--author", "first", "--base", "0")
@@ -58,8 +60,9 @@
 }
 
 // TestResendGivesFirstResult guards against a change that is applied again, or
-// gets another answer, when an operator whose answer was lost sends it again:
-// under another leader, and after all members were restarted.
+// gets another answer, when an operator sends it again because the answer was lost.
+// It is sent again to the same leader, to another one, and after all members were
+// restarted.
 func TestResendGivesFirstResult(t *testing.T) {
 	s := startSystem(t, controlGroupLayout())
 	first := s.writeContract("first", 100)
@@ -76,8 +79,8 @@
 	assert.NilError(t, accepted.err, "%s", accepted.out)
 	refused := send(s.writeContract("second", 300), "two")
 	assert.ErrorContains(t, refused.err, "exit status 1")
-	// Another operator changes the contract, so that the base of the first change is
-	// out of date.
+	// Another operator changes the contract, so that the base version of the first
+	// change is out of date.
 	s.retryCLI("contract", "apply", s.writeContract("third", 400), "--author", "carl")
 	check := func() {
 		t.Helper()
@@ -95,7 +98,7 @@
 	s.kill(old.name)
 	check()
 	s.startProcess(old)
-	// Enough changes for a snapshot: the results must be part of it.
+	// These changes are enough for a snapshot, which must contain the results.
 	results, wg := s.startDeclaring("more", 8, 150, nil)
 	wg.Wait()
 	for _, p := range s.controls {
--- a/tests/relay_test.go
+++ b/tests/relay_test.go
@@ -8,8 +8,8 @@
 	"camphorridge/internal/stand"
 )
 
-// newRelay starts a relay from one address to another, which is closed at the
-// end of the test.
+// newRelay starts a relay from the address listen to the address target. The relay is
+// closed at the end of the test.
 func newRelay(t testing.TB, listen, target string) *stand.Relay {
 	t.Helper()
 	r, err := stand.NewRelay(listen, target)
--- a/tests/release_test.go
+++ b/tests/release_test.go
@@ -12,12 +12,12 @@
 	"camphorridge/internal/stand"
 )
 
-// fastMaintenance holds settings of control processes that make maintenance
+// fastMaintenance holds settings of control processes with which maintenance is
 // fast enough for tests.
 const fastMaintenance = "[maintenance]\nstep-ms = 10000\ncanary-ms = 500\nstuck-ms = 20000\n"
 
-// waitForMaintenance waits until an instance is in maintenance and then serves
-// again. It returns the start and the end of the maintenance as the control
+// waitForMaintenance waits until an instance is in maintenance and then until it
+// serves again. It returns the start and the end of the maintenance as the control
 // group recorded them, in milliseconds since the epoch.
 func (s *system) waitForMaintenance(id string) (from, to int64) {
 	s.t.Helper()
@@ -35,10 +35,10 @@
 }
 
 // TestReleaseWaitsForEveryEntry guards against an instance that is rebooted
-// while an entry process may still send it requests. One entry process of the
-// zone is frozen, later another is killed. Maintenance must wait for each of
-// them, say so to operators, and continue when the process is back. No request
-// may reach the instance between its confirmed release and its return.
+// while an entry process may still send it requests. First one entry process of the
+// zone is frozen, later another is killed. Maintenance must wait for each of them,
+// tell operators which one it waits for, and continue when the process is back. No
+// request may reach the instance between its confirmed release and its return.
 func TestReleaseWaitsForEveryEntry(t *testing.T) {
 	l := threeZones("merge", "merge")
 	l.controlSettings = fastMaintenance
@@ -100,10 +100,11 @@
 	<-done
 }
 
-// TestMoveWaitsForEveryEntry guards against an instance that serves two pools.
-// A spare instance replaces a lost one while an entry process of each zone is
-// frozen. It must stay in its pool until all entry processes have confirmed the
-// release, and must run nothing for the new pool before it is assigned to it.
+// TestMoveWaitsForEveryEntry guards against an instance that serves two pools at the
+// same time. A spare instance replaces a lost one while one entry process of each
+// zone is frozen. It must stay in the spare pool until all entry processes have
+// confirmed its release, and must run nothing for the new pool before it is assigned
+// to it.
 func TestMoveWaitsForEveryEntry(t *testing.T) {
 	l := threeZones("merge", "merge", "portal")
 	l.controlSettings = "[capacity]\nrepair-after-ms = 1000\n"
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -16,7 +16,8 @@
 	"camphorridge/internal/stand"
 )
 
-// call sends one request and returns the answer's status, outcome and body.
+// call sends one request of the customer acme, and returns the answer's status,
+// outcome and body.
 func call(t *testing.T, entry, service string, header http.Header) (status int, outcome, body string, err error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -70,8 +71,8 @@
 }
 
 // TestResendToAnotherEntryRunsOnce guards against a request with an idempotency
-// key that runs twice: the entry process dies while the request runs, and the
-// caller resends it to another one.
+// key that runs twice when the entry process is killed while the request runs, and
+// the caller resends it to other entry processes.
 func TestResendToAnotherEntryRunsOnce(t *testing.T) {
 	s := startServing(t, threeZones("merge", "merge"))
 	for i, victim := range []string{"e1", "e4"} {
@@ -84,7 +85,7 @@
 		}()
 		s.wait("the request to run", func() bool { return s.runCount(id) == 1 })
 		s.kill(victim)
-		assert.Assert(t, <-done != nil, "the caller must not get a whole answer")
+		assert.Assert(t, <-done != nil, "the caller got a complete answer")
 		for _, other := range []string{"e2", "e5", "e7"} {
 			status, outcome, _, err := call(t, s.find(other).callerAddr, "merge", h)
 			assert.NilError(t, err)
@@ -126,13 +127,13 @@
 		case "ran":
 			assert.Equal(t, runs[a.ID], 1, "%s", a.ID)
 		case "not-run":
-			assert.Equal(t, runs[a.ID], 0, "%s was refused and ran", a.ID)
+			assert.Equal(t, runs[a.ID], 0, "%s was refused but ran", a.ID)
 			refused = append(refused, a.ID)
 		default:
 			t.Fatalf("%s ended with status %d, outcome %q", a.ID, a.Status, a.Outcome)
 		}
 	}
-	t.Logf("%d were refused: %s", len(refused), sum)
+	t.Logf("%d requests were refused: %s", len(refused), sum)
 	for i, id := range refused {
 		h := http.Header{stand.IDHeader: {id}, "Idempotency-Key": {id}}
 		s.wait(id+" to run", func() bool {
@@ -154,8 +155,9 @@
 	return runs
 }
 
-// TestGracefulStop guards against a planned stop that cuts off requests: each
-// entry process and each control member is stopped under load in turn.
+// TestGracefulStop guards against a planned stop that cuts off requests, or that
+// ends with an error. Two entry processes are stopped in turn, each under load, and
+// then each control member without load.
 func TestGracefulStop(t *testing.T) {
 	s := startServing(t, threeZones("merge", "merge"))
 	var wg sync.WaitGroup
@@ -172,8 +174,8 @@
 		}()
 		s.wait("the load to run", func() bool { return s.runCountWithPrefix(name) > 50 })
 		assert.Equal(t, s.stop(name), 0)
-		// The load is not cancelled: that could cut off an answer that was written
-		// before the stop and has not been read yet.
+		// The load is not cancelled, because that could cut off an answer that was
+		// written before the stop and has not been read yet.
 		sum := <-sums
 		assert.Assert(t, sum.Counts["error"] > 0, "the load ended before the stop")
 		finished := map[string]bool{}
@@ -184,7 +186,7 @@
 		}
 		for _, r := range s.handledRequests() {
 			if strings.HasPrefix(r.ID, name) && r.Finished {
-				assert.Assert(t, finished[r.ID], "request %s ran and its answer was cut off", r.ID)
+				assert.Assert(t, finished[r.ID], "request %s ran, but its answer was cut off", r.ID)
 			}
 		}
 		s.startProcess(s.find(name))
@@ -209,8 +211,8 @@
 	return n
 }
 
-// TestLeavingUpstreamGetsNoNewWork guards against requests that any entry
-// process sends to an upstream seconds after it has announced that it is
+// TestLeavingUpstreamGetsNoNewWork guards against requests that an entry process
+// sends to an upstream more than 3 s after the upstream announced that it is
 // leaving.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	s := startServing(t, threeZones("merge", "merge"))
@@ -243,7 +245,7 @@
 }
 
 // TestSlotsHoldOverAllEntries guards against entry processes that together send
-// an upstream more requests at once than it has slots.
+// an upstream more concurrent requests than it has slots.
 func TestSlotsHoldOverAllEntries(t *testing.T) {
 	l := threeZones("merge", "merge")
 	l.requestDuration = 20 * time.Millisecond
@@ -260,7 +262,7 @@
 		case "ran":
 			ran++
 		case "not-run":
-			assert.Equal(t, s.runCount(a.ID), 0, "request %s was refused and ran", a.ID)
+			assert.Equal(t, s.runCount(a.ID), 0, "request %s was refused but ran", a.ID)
 		default:
 			t.Fatalf("request %s ended with outcome %q", a.ID, a.Outcome)
 		}
@@ -269,15 +271,14 @@
 	for zone, platform := range s.platforms {
 		for i := range l.upstreams[zone] {
 			u := platform.Upstream(fmt.Sprintf("%s-i%02d", zone, i))
-			assert.Assert(t, u.MaxRunning() <= 8, "%s ran %d requests at once", u.Instance, u.MaxRunning())
+			assert.Assert(t, u.MaxRunning() <= 8, "%s ran %d requests at the same time", u.Instance, u.MaxRunning())
 		}
 	}
 }
 
-// TestFaultyUpstreams guards against an incomplete answer that looks complete
-// to the caller, and against the outcome "not run" for a request that ran. The
-// upstream cuts answers short, hangs, closes the connection, refuses, and sends
-// answers without a length.
+// TestFaultyUpstreams guards against an incomplete answer, or one to another request,
+// that looks complete to the caller, and against the outcome "not run" for a request
+// that ran. Each case is a fault of the upstream.
 func TestFaultyUpstreams(t *testing.T) {
 	s := startServing(t, threeZones("merge", "merge"))
 	tests := []struct {
@@ -307,8 +308,8 @@
 }
 
 // TestResumedEntryDropsRemovedContract guards against an entry process that was
-// frozen while a contract was removed, and serves by the old table when it
-// continues.
+// frozen while a contract was removed, and keeps serving the contract from its old
+// table after it continues.
 func TestResumedEntryDropsRemovedContract(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
 	s.signal("e3", syscall.SIGSTOP)
--- a/tests/silent_test.go
+++ b/tests/silent_test.go
@@ -10,9 +10,9 @@
 	"camphorridge/internal/stand"
 )
 
-// TestSilentConnections guards against a pooled connection that stops
-// delivering data and fails one request after the other, while new connections
-// work.
+// TestSilentConnections guards against a pooled connection that has stopped
+// delivering data, but is used for one request after the other, while new
+// connections work.
 func TestSilentConnections(t *testing.T) {
 	s := startSystem(t, layout{controls: []string{"za"}, entries: []string{"za"}})
 	address := s.newIP() + ":9000"
--- a/tests/surge_test.go
+++ b/tests/surge_test.go
@@ -12,10 +12,10 @@
 	"camphorridge/internal/stand"
 )
 
-// TestSurgeMovesSpareInstances guards against an instance that serves two pools
-// during a surge, and against requests that the move of an instance cuts off.
-// The load peaks in one pool and then in another, so that instances move from
-// the spare pool to the first and then on to the second.
+// TestSurgeMovesSpareInstances guards against an instance that serves two pools at
+// the same time during a surge, and against requests that the move of an instance
+// cuts off. The load peaks in one pool and then in another, so that instances move
+// from the spare pool to the first and then on to the second.
 func TestSurgeMovesSpareInstances(t *testing.T) {
 	l := threeZones("merge", "audit", "portal", "portal")
 	l.requestDuration = 50 * time.Millisecond
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	s.wait("the spare pool to be whole again", func() bool { return s.servingCount("portal") == 6 })
+	s.wait("all spare instances to return to the spare pool", func() bool { return s.servingCount("portal") == 6 })
 	s.checkPoolsDoNotOverlap()
 }
 
@@ -80,9 +80,9 @@
 	return n
 }
 
-// checkPoolsDoNotOverlap checks by the upstreams' records that an instance
-// never ran requests of two pools at the same time: the first request of a pool
-// may start only after all requests of the pool before have ended.
+// checkPoolsDoNotOverlap checks in the upstreams' records that no instance ran
+// requests of two pools at the same time: the first request of a pool may start only
+// after all requests of the previous pool have ended.
 func (s *system) checkPoolsDoNotOverlap() {
 	s.t.Helper()
 	moves := 0
@@ -94,7 +94,7 @@
 			if ok && before.Pool != r.Pool {
 				moves++
 				assert.Assert(s.t, r.Started >= busyUntil[r.Instance],
-					"instance %s began %s of pool %s while requests of pool %s ran", r.Instance, r.ID, r.Pool, before.Pool)
+					"instance %s started request %s of pool %s while it ran requests of pool %s", r.Instance, r.ID, r.Pool, before.Pool)
 			}
 			lastRun[r.Instance] = r
 			busyUntil[r.Instance] = max(busyUntil[r.Instance], r.Ended)
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -61,11 +61,11 @@
 	lastIP   int
 	controls []*process
 	entries  []*process
-	// concurrency is written into the contracts; 0 makes the system derive it from
-	// the instances.
+	// concurrency is the concurrency of the contracts; if it is 0, the system derives
+	// the concurrency from the instances.
 	concurrency int
-	// relays holds the relays between zones by "zone>process": each forwards from
-	// one zone to a process of another.
+	// relays holds the relays between zones. The relay with the key "zone>process"
+	// forwards from a zone to a process of another zone.
 	relays map[string]*stand.Relay
 	// platforms holds the stand-in platform of each zone.
 	platforms map[string]*stand.Platform
@@ -85,7 +85,7 @@
 	return octet
 }
 
-// newIP returns an IP address of the loopback network that nothing uses yet.
+// newIP returns an unused IP address of the loopback network.
 func (s *system) newIP() string {
 	s.lastIP++
 	return fmt.Sprintf("127.%d.%d.%d", s.octet, s.lastIP/200, s.lastIP%200+1)
@@ -104,8 +104,8 @@
 	allSettings, controlSettings, entrySettings string
 }
 
-// threeZones returns a layout of three zones with a control process each and
-// seven entry processes. Each zone has one instance for each of the given
+// threeZones returns a layout of three zones, with one control process per zone and
+// seven entry processes in all. Each zone has one instance for each of the given
 // pools.
 func threeZones(pools ...string) layout {
 	return layout{
@@ -116,7 +116,7 @@
 	}
 }
 
-// startSystem starts a system, which ends with the test.
+// startSystem starts a system, which is stopped at the end of the test.
 func startSystem(t testing.TB, l layout) *system {
 	t.Helper()
 	octet := claimNetwork(t)
@@ -317,8 +317,7 @@
 	return s.cliAt(s.controls, args...)
 }
 
-// cliAt runs an operator's command that is given only some of the control
-// members.
+// cliAt runs an operator's command that knows only the given control members.
 func (s *system) cliAt(members []*process, args ...string) (string, error) {
 	cmd := exec.Command(programPath, args...)
 	var list []string
@@ -359,8 +358,8 @@
 // second.
 var probeClient = &http.Client{Timeout: time.Second}
 
-// waitReady waits until every entry process is ready: it serves by the newest
-// table.
+// waitReady waits until every entry process is ready, which means that it has the
+// newest table.
 func (s *system) waitReady() {
 	s.t.Helper()
 	for _, e := range s.entries {
@@ -377,8 +376,8 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// applyContract applies a contract for a number of instances of each of the
-// pools.
+// applyContract applies a contract for the given number of instances of each of the
+// given pools.
 func (s *system) applyContract(customer string, instances int, pools ...string) {
 	s.t.Helper()
 	var b strings.Builder
@@ -410,7 +409,7 @@
 	return all
 }
 
-// handledRequests returns the requests that all upstreams have handled.
+// handledRequests returns the requests that the upstreams of all zones have handled.
 func (s *system) handledRequests() []stand.HandledRequest {
 	var all []stand.HandledRequest
 	for _, platform := range s.platforms {
--- a/tests/table_test.go
+++ b/tests/table_test.go
@@ -15,26 +15,26 @@
 	"camphorridge/internal/stand"
 )
 
-// waitForVersion waits until the metrics of all entry processes, or of those
-// named, show a table of at least the given version.
+// waitForVersion waits until the metrics of all entry processes, or of the named
+// ones, show a table of at least the given version.
 func (s *system) waitForVersion(version uint64, names ...string) {
 	s.t.Helper()
 	for _, e := range s.entries {
 		if len(names) > 0 && !strings.Contains(strings.Join(names, " "), e.name) {
 			continue
 		}
-		s.wait(fmt.Sprintf("%s to run version %d", e.name, version), func() bool {
+		s.wait(fmt.Sprintf("%s to have table version %d", e.name, version), func() bool {
 			return s.version(e) >= version
 		})
 	}
 }
 
-// version returns the version of an entry process's table by its metrics.
+// version returns the version of an entry process's table according to its metrics.
 func (s *system) version(e *process) uint64 { return uint64(s.metrics(e)["table_version"]) }
 
 // changeContract changes the contract of the customer acme: the number of
-// instances of the pool merge, and the queue. It returns the version of the
-// change.
+// instances of the pool merge, and the length of the queue. It returns the version of
+// the change.
 func (s *system) changeContract(instances int, queue int) uint64 {
 	s.t.Helper()
 	text := fmt.Sprintf("[contract]\ncustomer = acme\ncovers = instance\nqueue = %d\nretry-percent = 20\n[pool merge]\ninstances = %d\n"+
@@ -54,7 +54,7 @@
 	for i := range 5 {
 		v := s.changeContract(3, 800+i)
 		s.waitForVersion(v)
-		s.wait("the leader to hear it", func() bool {
+		s.wait("the leader to know of the change in all entry processes", func() bool {
 			n := 0
 			for _, p := range s.status().Processes {
 				if p.Version >= v && !p.Silent {
@@ -80,10 +80,9 @@
 	}
 }
 
-// TestResumedEntryNeverServesOldTable guards against an entry process that was
-// frozen during a change. When it continues, it must not be ready with a table
-// older than that of another entry process in its zone, nor revert to an older
-// table.
+// TestResumedEntryNeverServesOldTable guards against an entry process that is ready
+// with an old table when it continues after a freeze. Its table must not be older
+// than the one that another entry process of its zone had before.
 func TestResumedEntryNeverServesOldTable(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
 	e2, e3 := s.find("e2"), s.find("e3")
@@ -94,22 +93,22 @@
 		time.Sleep(1500 * time.Millisecond)
 		minVersion := s.version(e2)
 		s.signal("e3", syscall.SIGCONT)
-		s.wait("e3 to run the new version", func() bool {
+		s.wait("e3 to be ready with the new version", func() bool {
 			// The readiness is read before the version: once e3 is ready, its version must
 			// not be lower than that of e2 before e3 continued.
 			ready := s.isReady(e3.adminAddr)
 			have := s.version(e3)
 			if ready {
-				assert.Assert(t, have >= minVersion, "e3 is ready with version %d, e2 had %d", have, minVersion)
+				assert.Assert(t, have >= minVersion, "e3 is ready with version %d, but e2 had %d before", have, minVersion)
 			}
 			return ready && have >= v
 		})
 	}
 }
 
-// TestResumedEntryRunsNothingByOldTable guards against requests that arrive at
-// a frozen entry process and run by its old table when it continues. The
-// contract was removed in the meantime.
+// TestResumedEntryRunsNothingByOldTable guards against requests that arrive at a
+// frozen entry process and run when it continues, because its old table has a
+// contract that was removed in the meantime.
 func TestResumedEntryRunsNothingByOldTable(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
 	e3 := s.find("e3")
@@ -138,8 +137,8 @@
 }
 
 // TestPartitionedZoneServesAndRecovers guards against a partitioned zone that
-// stops serving, that runs a request with an idempotency key although it can't
-// claim the key, or that keeps its old table after the partition.
+// stops serving requests without an idempotency key, that runs a request whose key it
+// can't claim, or that keeps its old table after the partition.
 func TestPartitionedZoneServesAndRecovers(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
 	s.setRelayMode("zc", stand.RelaySilent)
@@ -191,9 +190,8 @@
 }
 
 // TestRestartInPartitionedZone guards against an entry process that restarts in
-// a partitioned zone and does not serve, or serves by a table older than that
-// of the other entry process of the zone. It must get the table from that
-// process.
+// a partitioned zone and does not serve, or serves with an older table than the
+// other entry process of the zone. It must get the table from that process.
 func TestRestartInPartitionedZone(t *testing.T) {
 	s := startServing(t, threeZones("merge"))
 	e6, e7 := s.find("e6"), s.find("e7")
@@ -204,7 +202,7 @@
 	assert.Assert(t, minVersion > 0)
 	s.startProcess(e7)
 	s.wait("e7 to be ready", func() bool { return s.isReady(e7.adminAddr) })
-	assert.Assert(t, s.version(e7) >= minVersion, "e7 runs version %d, its neighbour %d", s.version(e7), minVersion)
+	assert.Assert(t, s.version(e7) >= minVersion, "e7 has table version %d, but e6 has %d", s.version(e7), minVersion)
 	s.wait("e7 to serve", func() bool {
 		status, _, _, err := call(t, e7.callerAddr, "merge", nil)
 		return err == nil && status == http.StatusOK
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// The JSON that the command line prints, as far as the tests read it.
+// The fields that the tests read of the JSON that the command line prints.
 type (
 	statusView struct {
 		Leader    string        `json:"leader"`
@@ -41,7 +41,7 @@
 	}
 )
 
-// status waits for an answer of the leader and returns the status.
+// status returns the status of the system. It waits until the command succeeds.
 func (s *system) status() statusView {
 	s.t.Helper()
 	var o statusView
@@ -58,8 +58,8 @@
 	return s.find(s.status().Leader)
 }
 
-// follower returns a control process that is not the leader and not among those
-// named.
+// follower returns a control process that is not the leader and not among the named
+// ones.
 func (s *system) follower(except ...string) *process {
 	s.t.Helper()
 	except = append(except, s.leader().name)
@@ -85,7 +85,7 @@
 	return v.Instances, err
 }
 
-// instances waits for an answer and returns the instances.
+// instances returns the instances. It waits until the command succeeds.
 func (s *system) instances() []instanceView {
 	s.t.Helper()
 	var all []instanceView
@@ -108,8 +108,8 @@
 	return instanceView{}
 }
 
-// declarations waits for an answer and returns the declared maintenance by
-// name.
+// declarations returns the declared maintenance by name. It waits until the command
+// succeeds.
 func (s *system) declarations() map[string]declarationView {
 	s.t.Helper()
 	var all map[string]declarationView
@@ -139,8 +139,8 @@
 }
 
 // declare declares maintenance of an instance that does not exist, which has no
-// other effect than the declaration itself. It asks the given control members,
-// or all if none are given.
+// other effect than the declaration itself. It calls the given control members, or
+// all members if none are given.
 func (s *system) declare(name string, members ...*process) (string, error) {
 	if len(members) == 0 {
 		members = s.controls
@@ -149,10 +149,10 @@
 		"--deadline", "2099-01-01T00:00:00Z", "--base", "0", "--request", "request-"+name, "--author", "test")
 }
 
-// declarationResults holds what became of concurrent declarations. accepted
-// maps the name of each accepted declaration to the version that the command
-// line printed, failed holds the output for each that failed, and count is the
-// number of accepted ones.
+// declarationResults holds the results of concurrent declarations. accepted maps
+// the name of each accepted declaration to the version that the command line
+// printed, failed holds the output of each failed one, and count is the number of
+// accepted ones.
 type declarationResults struct {
 	mu       sync.Mutex
 	accepted map[string]uint64
@@ -162,9 +162,9 @@
 
 // startDeclaring declares maintenance in the background until stop is closed or
 // n declarations are done. It returns the results, and a group to wait for the
-// end. A declaration whose answer was lost is sent again with the same request
-// identity, as operators do. A refusal, a conflict, and no answer within
-// waitTimeout count as failures.
+// end. A declaration without an answer is sent again with the same request ID, as
+// operators do. A refusal, a conflict, and no answer within waitTimeout count as
+// failures.
 func (s *system) startDeclaring(prefix string, workers, n int, stop <-chan struct{}) (*declarationResults, *sync.WaitGroup) {
 	r := &declarationResults{accepted: map[string]uint64{}}
 	var next atomic.Int64
@@ -188,7 +188,7 @@
 }
 
 // declareUntilAnswered sends one declaration until it is answered and records
-// the result. It returns false if stop was closed before.
+// the result. It returns false if stop is closed before that.
 func (s *system) declareUntilAnswered(r *declarationResults, name string, stop <-chan struct{}) bool {
 	for deadline := time.Now().Add(waitTimeout); ; {
 		select {
@@ -220,8 +220,8 @@
 	}
 }
 
-// check fails the test if a declaration failed, if the control group does not
-// hold each accepted one at its version, or if two have the same version.
+// check fails the test if a declaration failed, if the control group has not stored
+// each accepted one at its version, or if two have the same version.
 func (r *declarationResults) check(s *system) {
 	s.t.Helper()
 	r.mu.Lock()
@@ -230,14 +230,14 @@
 	stored := s.declarations()
 	byVersion := map[uint64]string{}
 	for name, version := range r.accepted {
-		assert.Equal(s.t, stored[name].Version, version, "%s was accepted at another version than it is stored at", name)
-		assert.Equal(s.t, byVersion[version], "", "%s and another change were accepted at one version", name)
+		assert.Equal(s.t, stored[name].Version, version, "%s is stored at another version than it was accepted at", name)
+		assert.Equal(s.t, byVersion[version], "", "%s and another declaration were accepted at the same version", name)
 		byVersion[version] = name
 	}
 }
 
-// waitCaughtUp waits until a control process has committed all that the leader
-// had committed at the time of the call.
+// waitCaughtUp waits until the commit index of a control process is at least that of
+// the leader at the time of the call.
 func (s *system) waitCaughtUp(p *process) {
 	s.t.Helper()
 	want := float64(s.status().Commit)
