--- a/tests/maintenance_test.go
+++ b/tests/maintenance_test.go
@@ -140,7 +140,7 @@
 			assert.Equal(s.t, len(ran[a.ID]), 0, "%s was refused but ran on %v", a.ID, ran[a.ID])
 		default:
 			expected := through.zone == "zb" && (len(ran[a.ID]) == 0 || ran[a.ID][0] == upstream)
-			assert.Assert(s.t, expected, "%s through %s ended with status %d and outcome %q, and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
+			assert.Assert(s.t, expected, "%s through %s ended with status %d and outcome %s, and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
 		}
 	}
 	s.t.Logf("%s", sum)
