--- a/tests/release_test.go
+++ b/tests/release_test.go
@@ -12,12 +12,12 @@
 	"camphorridge/internal/stand"
 )
 
-// fastMaintenance holds settings of control processes that make maintenance
+// fastMaintenance holds settings of control processes with which maintenance is
 // fast enough for tests.
 const fastMaintenance = "[maintenance]\nstep-ms = 10000\ncanary-ms = 500\nstuck-ms = 20000\n"
 
-// waitForMaintenance waits until an instance is in maintenance and then serves
-// again. It returns the start and the end of the maintenance as the control
+// waitForMaintenance waits until an instance is in maintenance and then until it
+// serves again. It returns the start and the end of the maintenance as the control
 // group recorded them, in milliseconds since the epoch.
 func (s *system) waitForMaintenance(id string) (from, to int64) {
 	s.t.Helper()
@@ -35,10 +35,10 @@
 }
 
 // TestReleaseWaitsForEveryEntry guards against an instance that is rebooted
-// while an entry process may still send it requests. One entry process of the
-// zone is frozen, later another is killed. Maintenance must wait for each of
-// them, say so to operators, and continue when the process is back. No request
-// may reach the instance between its confirmed release and its return.
+// while an entry process may still send it requests. First one entry process of the
+// zone is frozen, later another is killed. Maintenance must wait for each of them,
+// tell operators which one it waits for, and continue when the process is back. No
+// request may reach the instance between its confirmed release and its return.
 func TestReleaseWaitsForEveryEntry(t *testing.T) {
 	l := threeZones("merge", "merge")
 	l.controlSettings = fastMaintenance
@@ -70,7 +70,7 @@
 		},
 	}
 	for _, tt := range tests {
-		s.wait(tt.instance+" to run requests", func() bool { return len(platform.Upstream(tt.instance).Record()) > 20 })
+		s.wait(tt.instance+" to run requests", func() bool { return len(platform.Upstream(tt.instance).HandledRequests()) > 20 })
 		tt.stop()
 		s.retryCLI("maintenance", "declare", tt.instance, "--instance", tt.instance, "--deadline", "1h", "--author", "test")
 		for _, command := range [][]string{{"status"}, {"explain", "instance", tt.instance}} {
@@ -90,7 +90,7 @@
 		tt.resume()
 		from, to := s.waitForMaintenance(tt.instance)
 		assert.Assert(t, platform.Reboots(tt.instance) >= 1)
-		for _, r := range platform.Record() {
+		for _, r := range platform.HandledRequests() {
 			started := int64(r.Started)
 			assert.Assert(t, r.Instance != tt.instance || started < from || started >= to,
 				"%s ran %s through %s at %d, between its release at %d and its return at %d", r.Instance, r.ID, r.Entry, started, from, to)
@@ -100,10 +100,11 @@
 	<-done
 }
 
-// TestMoveWaitsForEveryEntry guards against an instance that serves two pools.
-// A spare instance replaces a lost one while an entry process of each zone is
-// frozen. It must stay in its pool until all entry processes have confirmed the
-// release, and must run nothing for the new pool before it is assigned to it.
+// TestMoveWaitsForEveryEntry guards against an instance that serves two pools at the
+// same time. A spare instance replaces a lost one while one entry process of each
+// zone is frozen. It must stay in the spare pool until all entry processes have
+// confirmed its release, and must run nothing for the new pool before it is assigned
+// to it.
 func TestMoveWaitsForEveryEntry(t *testing.T) {
 	l := threeZones("merge", "merge", "portal")
 	l.controlSettings = "[capacity]\nrepair-after-ms = 1000\n"
