--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -47,7 +47,7 @@
 	case err != nil:
 		return p, newError("body", KindBody, http.StatusBadRequest, "the body could not be read: %w", err)
 	case !inTime:
-		return p, newError("body", KindBody, http.StatusBadRequest, "the body was not received within %d ms", cfg.BodyReadTimeout)
+		return p, newError("body", KindBody, http.StatusBadRequest, "the body took longer than %d ms", cfg.BodyReadTimeout)
 	case int64(n) == r.ContentLength:
 		p.whole = true
 	default:
--- a/io/trans/front/parse.go
+++ b/io/trans/front/parse.go
@@ -39,7 +39,7 @@
 	}
 	customers := r.Header[HeaderCustomer]
 	if len(customers) != 1 || !model.ValidName(customers[0]) {
-		return req, badRequest("%s must be given once, with a valid name", HeaderCustomer)
+		return req, badRequest("%s must be given once and hold a name", HeaderCustomer)
 	}
 	req.customer, req.service = model.Customer(customers[0]), model.Pool(service)
 	if req.timeout, err = parseTimeout(cfg, r.Header[HeaderTimeout]); err != nil {
@@ -59,7 +59,7 @@
 	}
 	n, err := strconv.ParseUint(values[0], 10, 31)
 	if err != nil || n == 0 || len(values) > 1 {
-		return 0, badRequest("%s must be given once, as a positive number of milliseconds", HeaderTimeout)
+		return 0, badRequest("%s must be given once, as a number of ms above 0", HeaderTimeout)
 	}
 	return min(clock.Millis(n), cfg.MaxTimeout), nil
 }
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -46,9 +46,9 @@
 			return attemptResult{}
 		}
 		if mayRetry && !streamed && x.ctx.Err() == nil {
-			return attemptResult{mayRetry: true, reason: "the request could not be sent to the upstream: " + res.Kind.String()}
+			return attemptResult{mayRetry: true, reason: "the upstream could not be reached: " + res.Kind.String()}
 		}
-		f.replyRefused(x, http.StatusServiceUnavailable, "the request could not be sent to the upstream: "+res.Kind.String(), clock.Second)
+		f.replyRefused(x, http.StatusServiceUnavailable, "the upstream could not be reached: "+res.Kind.String(), clock.Second)
 		return attemptResult{result: runResult{notRun: true}}
 	}
 	defer func() { _ = resp.Body.Close() }()
