--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -22,9 +22,9 @@
 	KindNotLeader
 	// KindInvalid: the called process rejected the request as malformed.
 	KindInvalid
-	// KindUnknown: any other failure, such as a timeout or a connection error.
+	// KindOutcomeUnknown: any other failure, such as a timeout or a connection error.
 	// The request may or may not have been executed.
-	KindUnknown
+	KindOutcomeUnknown
 )
 
 // Error is the error type of the package. Op is the operation that failed.
@@ -69,7 +69,7 @@
 	case twirp.Unavailable:
 		return &Error{Op: op, Kind: KindUnreachable, Err: err}, leader
 	default:
-		return &Error{Op: op, Kind: KindUnknown, Err: err}, leader
+		return &Error{Op: op, Kind: KindOutcomeUnknown, Err: err}, leader
 	}
 }
 
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -53,7 +53,7 @@
 
 // Propose proposes a change and waits for its result. It proposes the change
 // again if the response is lost, so the change must carry a request ID or be
-// idempotent. After an *Error of KindUnknown the change may have been accepted.
+// idempotent. After an *Error of KindOutcomeUnknown the change may have been accepted.
 func (l *LeaderClient) Propose(ctx context.Context, c model.Change) (model.Result, error) {
 	var r model.Result
 	err := l.call(ctx, "propose", func(ctx context.Context, member remote) error {
@@ -96,7 +96,7 @@
 
 // callWithTimeout is call with the given timeout for each attempt. Its error is
 // an *Error of KindInvalid if an attempt was rejected as malformed, and of
-// KindUnknown if ctx ended.
+// KindOutcomeUnknown if ctx ended.
 func (l *LeaderClient) callWithTimeout(ctx context.Context, op string, timeout clock.Millis, f func(context.Context, remote) error) error {
 	next := l.knownLeader()
 	var lastErr error
@@ -124,14 +124,14 @@
 			l.waitRound(ctx)
 		}
 		if ctx.Err() != nil {
-			return &Error{Op: op, Kind: KindUnknown, Err: fmt.Errorf("%w; last attempt: %w", ctx.Err(), lastErr)}
+			return &Error{Op: op, Kind: KindOutcomeUnknown, Err: fmt.Errorf("%w; last attempt: %w", ctx.Err(), lastErr)}
 		}
 	}
 }
 
 // attempt runs f once with the clients for an address. If the error is of
 // KindNotLeader, the member returned is the leader that the called process named.
-// After an error of KindUnreachable or KindUnknown the address is avoided for
+// After an error of KindUnreachable or KindOutcomeUnknown the address is avoided for
 // avoidDuration.
 func (l *LeaderClient) attempt(ctx context.Context, op, address string, timeout clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
@@ -141,7 +141,7 @@
 		return nil, model.Member{}
 	}
 	mapped, leader := fromTwirp(op, err)
-	if mapped.Kind == KindUnreachable || mapped.Kind == KindUnknown {
+	if mapped.Kind == KindUnreachable || mapped.Kind == KindOutcomeUnknown {
 		l.client.http.CloseIdleConnections()
 		l.avoid(address)
 	}
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -49,7 +49,7 @@
 // call usually takes one commit, and it can be sent again because it is idempotent.
 const workTimeout clock.Millis = 600
 
-// CallRunner sends a call to the leader's runner. After an *Error of KindUnknown
+// CallRunner sends a call to the leader's runner. After an *Error of KindOutcomeUnknown
 // the call may have been executed. After an *Error of another kind it was not; it is
 // of KindUnreachable if ctx ended before any attempt could have executed the call.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
@@ -68,7 +68,7 @@
 		return err
 	})
 	var e *Error
-	if errors.As(err, &e) && e.Kind == KindUnknown && !mayHaveRun {
+	if errors.As(err, &e) && e.Kind == KindOutcomeUnknown && !mayHaveRun {
 		e.Kind = KindUnreachable
 	}
 	return a, err
@@ -90,5 +90,5 @@
 // returned the error err.
 func MayHaveRun(err error) bool {
 	var e *Error
-	return !errors.As(err, &e) || e.Kind == KindUnknown
+	return !errors.As(err, &e) || e.Kind == KindOutcomeUnknown
 }
