--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -14,10 +14,10 @@
 
 // The kinds of error.
 const (
-	// KindUnreachable: the called process was unavailable, or its response could
+	// KindUnavailable: the called process was unavailable, or its response could
 	// not be decoded. The request may have been executed; CallRunner, however,
 	// uses this kind only for calls that were not.
-	KindUnreachable Kind = iota
+	KindUnavailable Kind = iota
 	// KindNotLeader: the called member is not the leader; nothing was done.
 	KindNotLeader
 	// KindInvalid: the called process rejected the request as malformed.
@@ -58,7 +58,7 @@
 func fromTwirp(op string, err error) (mapped *Error, leader model.Member) {
 	var te twirp.Error
 	if !errors.As(err, &te) {
-		return &Error{Op: op, Kind: KindUnreachable, Err: err}, leader
+		return &Error{Op: op, Kind: KindUnavailable, Err: err}, leader
 	}
 	switch te.Code() {
 	case twirp.FailedPrecondition:
@@ -67,7 +67,7 @@
 	case twirp.InvalidArgument, twirp.Malformed, twirp.BadRoute:
 		return &Error{Op: op, Kind: KindInvalid, Err: err}, leader
 	case twirp.Unavailable:
-		return &Error{Op: op, Kind: KindUnreachable, Err: err}, leader
+		return &Error{Op: op, Kind: KindUnavailable, Err: err}, leader
 	default:
 		return &Error{Op: op, Kind: KindOutcomeUnknown, Err: err}, leader
 	}
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -131,7 +131,7 @@
 
 // attempt runs f once with the clients for an address. If the error is of
 // KindNotLeader, the member returned is the leader that the called process named.
-// After an error of KindUnreachable or KindOutcomeUnknown the address is avoided for
+// After an error of KindUnavailable or KindOutcomeUnknown the address is avoided for
 // avoidDuration.
 func (l *LeaderClient) attempt(ctx context.Context, op, address string, timeout clock.Millis, f func(context.Context, remote) error) (*Error, model.Member) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
@@ -141,7 +141,7 @@
 		return nil, model.Member{}
 	}
 	mapped, leader := fromTwirp(op, err)
-	if mapped.Kind == KindUnreachable || mapped.Kind == KindOutcomeUnknown {
+	if mapped.Kind == KindUnavailable || mapped.Kind == KindOutcomeUnknown {
 		l.client.http.CloseIdleConnections()
 		l.avoid(address)
 	}
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -51,7 +51,7 @@
 
 // CallRunner sends a call to the leader's runner. After an *Error of KindOutcomeUnknown
 // the call may have been executed. After an *Error of another kind it was not; it is
-// of KindUnreachable if ctx ended before any attempt could have executed the call.
+// of KindUnavailable if ctx ended before any attempt could have executed the call.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
 	mayHaveRun := false
@@ -69,7 +69,7 @@
 	})
 	var e *Error
 	if errors.As(err, &e) && e.Kind == KindOutcomeUnknown && !mayHaveRun {
-		e.Kind = KindUnreachable
+		e.Kind = KindUnavailable
 	}
 	return a, err
 }
