--- a/io/proto/report/lists.go
+++ b/io/proto/report/lists.go
@@ -192,10 +192,10 @@
 	return p.LastReportAt == 0 || s.Now-p.LastReportAt > trail.SilentAfter
 }
 
-// Overview writes the status of the control member that answered. For each entry
+// WriteStatus writes the status of the control member that answered. For each entry
 // process it writes the version of the table that the process uses, since when, and
 // the age of its last report.
-func Overview(w io.Writer, f Format, s Status) error {
+func WriteStatus(w io.Writer, f Format, s Status) error {
 	s.Processes = sortedBy(s.Processes, func(p ProcessStatus) model.Process { return p.Name })
 	return render(w, "report status", f, func() string {
 		member := newTable("MEMBER", "ROLE", "LEADER", "TERM", "COMMIT", "VERSION", "TIME", "CONTRACTS", "INSTANCES", "MAINTENANCE")
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -128,7 +128,7 @@
 			return report.Instances(w, f, s, model.Selector{Pool: "log", Instance: "i2"})
 		},
 		"maintenance": func(w io.Writer, f report.Format) error { return report.Maintenance(w, f, s) },
-		"status":      func(w io.Writer, f report.Format) error { return report.Overview(w, f, s) },
+		"status":      func(w io.Writer, f report.Format) error { return report.WriteStatus(w, f, s) },
 		"timeline":    func(w io.Writer, f report.Format) error { return report.Timeline(w, f, eventsByProcess()) },
 		"customer":    explain(trail.ExplainCustomer(state, events(), "pruefkette")),
 		"instance":    explain(trail.ExplainInstance(state, events(), "i2")),
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -91,7 +91,7 @@
 
 func showStatus(o *options, out io.Writer) error {
 	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
-		if err := report.Overview(out, o.format(), v.Status); err != nil {
+		if err := report.WriteStatus(out, o.format(), v.Status); err != nil {
 			return failedError("status", err)
 		}
 		if o.json {
