Rename peers.Overview to SystemView and WaitOverview to Wait

peers.Overview was the leader's view of the system, and held the report.Status that report.Overview wrote: two meanings of one word. Only names change; withOverview of cmds follows.

--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		base := o.baseVersion(contractVersion(v, c.Customer))
 		return propose(o, p, out, model.Change{Kind: model.ChangeContractApply, Base: base, Contract: c})
 	})
@@ -66,7 +66,7 @@
 
 // contractVersion returns the current version of a customer's contract, or 0 if there
 // is none.
-func contractVersion(v peers.Overview, name model.Customer) model.Version {
+func contractVersion(v peers.SystemView, name model.Customer) model.Version {
 	for _, c := range v.Status.Contracts {
 		if c.Customer == name {
 			return c.Version
@@ -76,7 +76,7 @@
 }
 
 func showContract(o *options, out io.Writer) error {
-	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(_ *controlClient, v peers.SystemView) error {
 		if err := report.Contract(out, o.format(), v.Status, model.Customer(o.name)); err != nil {
 			return failedError("contract", err)
 		}
@@ -85,14 +85,14 @@
 }
 
 func listContracts(o *options, out io.Writer) error {
-	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(_ *controlClient, v peers.SystemView) error {
 		return report.Contracts(out, o.format(), v.Status)
 	})
 }
 
 func removeContract(o *options, out io.Writer) error {
 	name := model.Customer(o.name)
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		base := o.baseVersion(contractVersion(v, name))
 		return propose(o, p, out, model.Change{Kind: model.ChangeContractRemove, Base: base, Customer: name})
 	})
@@ -100,7 +100,7 @@
 
 // maintenanceVersion returns the current version of a declaration, or 0 if there is
 // none.
-func maintenanceVersion(v peers.Overview, name string) model.Version {
+func maintenanceVersion(v peers.SystemView, name string) model.Version {
 	for _, m := range v.Status.Maintenance {
 		if m.Name == name {
 			return m.Version
@@ -121,7 +121,7 @@
 			Rack: model.Rack(o.rack), Instance: model.InstanceID(o.instance),
 		},
 	}
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		base := o.baseVersion(maintenanceVersion(v, m.Name))
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceDeclare, Base: base, Maintenance: m})
 	})
@@ -148,13 +148,13 @@
 }
 
 func listMaintenance(o *options, out io.Writer) error {
-	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(_ *controlClient, v peers.SystemView) error {
 		return report.Maintenance(out, o.format(), v.Status)
 	})
 }
 
 func cancelMaintenance(o *options, out io.Writer) error {
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		base := o.baseVersion(maintenanceVersion(v, o.name))
 		m := model.Maintenance{Name: o.name}
 		return propose(o, p, out, model.Change{Kind: model.ChangeMaintenanceCancel, Base: base, Maintenance: m})
@@ -165,7 +165,7 @@
 // permanently. A spare instance replaces it in the pool. The release ends when every
 // entry process of the zone has confirmed it.
 func retireInstance(o *options, out io.Writer) error {
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		for _, i := range v.Status.Instances {
 			if i.ID != model.InstanceID(o.name) {
 				continue
@@ -183,7 +183,7 @@
 // process has ended. Only the operator can know this: a process that doesn't report
 // may still serve a zone that is cut off from the control group.
 func declareGone(o *options, out io.Writer) error {
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		for _, m := range v.Entries {
 			if m.Name == model.Process(o.name) {
 				return propose(o, p, out, model.Change{Kind: model.ChangeProcessGone, Process: m.Name})
--- a/io/trans/cmds/operator.go
+++ b/io/trans/cmds/operator.go
@@ -68,8 +68,8 @@
 	p.client.Close()
 }
 
-// withOverview gets the leader's overview of the fleet and calls f with it.
-func withOverview(o *options, f func(p *controlClient, v peers.Overview) error) error {
+// withSystemView gets the leader's view of the system and calls f with it.
+func withSystemView(o *options, f func(p *controlClient, v peers.SystemView) error) error {
 	p, err := newControlClient(o)
 	if err != nil {
 		return err
@@ -90,7 +90,7 @@
 }
 
 func showStatus(o *options, out io.Writer) error {
-	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(_ *controlClient, v peers.SystemView) error {
 		if err := report.WriteStatus(out, o.format(), v.Status); err != nil {
 			return failedError("status", err)
 		}
@@ -109,14 +109,14 @@
 }
 
 func listInstances(o *options, out io.Writer) error {
-	return withOverview(o, func(_ *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(_ *controlClient, v peers.SystemView) error {
 		return report.Instances(out, o.format(), v.Status, model.Selector{})
 	})
 }
 
 // collectEvents returns the events of all processes in causal order. It reports
 // processes that don't answer, and those that have dropped events, on standard error.
-func (p *controlClient) collectEvents(v peers.Overview) []model.Event {
+func (p *controlClient) collectEvents(v peers.SystemView) []model.Event {
 	var lists [][]model.Event
 	for _, m := range append(append([]model.Member(nil), v.Controls...), v.Entries...) {
 		ctx, cancel := context.WithTimeout(p.ctx, 2*time.Second)
@@ -135,7 +135,7 @@
 }
 
 func showTimeline(o *options, out io.Writer) error {
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		events := p.collectEvents(v)
 		if o.html == "" {
 			return report.Timeline(out, o.format(), events)
@@ -157,7 +157,7 @@
 }
 
 func showMeasures(o *options, out io.Writer) error {
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		return report.Measures(out, o.format(), trail.Measure(currentState(v), p.collectEvents(v)))
 	})
 }
@@ -166,7 +166,7 @@
 	if o.kind == "job" {
 		return explainJob(o, out)
 	}
-	return withOverview(o, func(p *controlClient, v peers.Overview) error {
+	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		current, events := currentState(v), p.collectEvents(v)
 		var x trail.Explanation
 		switch o.kind {
@@ -189,9 +189,9 @@
 	})
 }
 
-// currentState converts an overview to the current state that package trail needs to
+// currentState converts a system view to the current state that package trail needs to
 // explain events.
-func currentState(v peers.Overview) trail.CurrentState {
+func currentState(v peers.SystemView) trail.CurrentState {
 	x := trail.CurrentState{
 		Now:         v.Status.Now,
 		Contracts:   map[model.Customer]model.Contract{},
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -68,9 +68,9 @@
 	l := NewLeaderClient(NewClient("test", zeroStamps{}), members, clock.Real())
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	o, err := l.Status(ctx)
+	v, err := l.Status(ctx)
 	assert.NilError(t, err)
-	assert.Equal(t, o.Status.Member, model.Process("c3"))
+	assert.Equal(t, v.Status.Member, model.Process("c3"))
 }
 
 // TestLeaderAfterSilentMember guards against calls that all use up their timeout
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -10,19 +10,19 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// Overview is the leader's view of the system, for operators' commands.
-type Overview struct {
+// SystemView is the leader's view of the system, for operators' commands.
+type SystemView struct {
 	Status report.Status
 	// Controls and Entries list the configured processes.
 	Controls []model.Member
 	Entries  []model.Member
 	// Waits lists what the mover waits for.
-	Waits []WaitOverview
+	Waits []Wait
 }
 
-// WaitOverview is a reason why the mover cannot take a step or reach a goal yet; its
+// Wait is a reason why the mover cannot take a step or reach a goal yet; its
 // fields are those of mover.Wait.
-type WaitOverview struct {
+type Wait struct {
 	Instance    model.InstanceID
 	Unconfirmed []string
 	Since       clock.Millis
@@ -30,35 +30,35 @@
 }
 
 // Status requests the leader's view of the system.
-func (l *LeaderClient) Status(ctx context.Context) (Overview, error) {
-	var o Overview
+func (l *LeaderClient) Status(ctx context.Context) (SystemView, error) {
+	var v SystemView
 	err := l.call(ctx, "status", func(ctx context.Context, member remote) error {
 		resp, err := member.control.Status(ctx, &wirepb.StatusRequest{})
 		if err != nil {
 			return err
 		}
-		o, err = overviewFromWire(resp)
+		v, err = systemViewFromWire(resp)
 		return err
 	})
-	return o, err
+	return v, err
 }
 
-func overviewFromWire(w *wirepb.StatusResponse) (Overview, error) {
-	o := Overview{Status: report.Status{
+func systemViewFromWire(w *wirepb.StatusResponse) (SystemView, error) {
+	v := SystemView{Status: report.Status{
 		Member: model.Process(w.GetMember()), Leader: model.Process(w.GetLeader()), Role: w.GetRole(),
 		Term: w.GetTerm(), Commit: model.Version(w.GetCommit()), Version: model.Version(w.GetVersion()),
 		Now: clock.Millis(w.GetNowMs()),
 	}}
-	st := &o.Status
+	st := &v.Status
 	var err error
 	if st.Contracts, err = convertAll(w.GetContracts(), codec.ContractFromWire); err != nil {
-		return o, err
+		return v, err
 	}
 	if st.Instances, err = convertAll(w.GetInstances(), codec.InstanceFromWire); err != nil {
-		return o, err
+		return v, err
 	}
 	if st.Maintenance, err = convertAll(w.GetMaintenance(), codec.MaintenanceFromWire); err != nil {
-		return o, err
+		return v, err
 	}
 	for _, p := range w.GetProcesses() {
 		st.Processes = append(st.Processes, report.ProcessStatus{
@@ -69,18 +69,18 @@
 		})
 	}
 	for _, m := range w.GetControls() {
-		o.Controls = append(o.Controls, codec.MemberFromWire(m))
+		v.Controls = append(v.Controls, codec.MemberFromWire(m))
 	}
 	for _, m := range w.GetEntries() {
-		o.Entries = append(o.Entries, codec.MemberFromWire(m))
+		v.Entries = append(v.Entries, codec.MemberFromWire(m))
 	}
 	for _, wait := range w.GetWaits() {
-		o.Waits = append(o.Waits, WaitOverview{
+		v.Waits = append(v.Waits, Wait{
 			Instance: model.InstanceID(wait.GetInstance()), Unconfirmed: wait.GetFor(),
 			Since: clock.Millis(wait.GetSinceMs()), Reason: wait.GetReason(),
 		})
 	}
-	return o, nil
+	return v, nil
 }
 
 // convertAll applies f to all elements and stops at the first error.
