Rename peers.TimelineServer to EventsServer

It serves the event log of one process; the time line is the merge of all. The name of the generated service (Timeline) stays; the type that implements it is now timelineService. Only names change.

--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -103,18 +103,18 @@
 	return lastErr
 }
 
-// TimelineServer serves the event log of this process.
-type TimelineServer struct {
+// EventsServer serves the event log of this process.
+type EventsServer struct {
 	// Events returns the events with a sequence number above since, and the
 	// number of events that the log has dropped.
 	Events func(since uint64) (events []model.Event, dropped int64)
 }
 
-// eventsServer implements the Timeline service for a TimelineServer.
-type eventsServer struct{ TimelineServer }
+// timelineService implements the Timeline service for an EventsServer.
+type timelineService struct{ EventsServer }
 
-func (s eventsServer) Events(_ context.Context, r *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
-	events, dropped := s.TimelineServer.Events(r.GetSince())
+func (s timelineService) Events(_ context.Context, r *wirepb.EventsRequest) (*wirepb.EventsResponse, error) {
+	events, dropped := s.EventsServer.Events(r.GetSince())
 	w := &wirepb.EventsResponse{Dropped: dropped}
 	for _, e := range events {
 		w.Events = append(w.Events, codec.EventToWire(e))
@@ -127,10 +127,10 @@
 const maxPeerRequestBytes = 16 << 20
 
 // Mux returns a handler for the services of a process. It omits services that are
-// nil; t is always served.
-func Mux(control wirepb.Control, consensus wirepb.Consensus, neighbour wirepb.Neighbour, work wirepb.Work, t TimelineServer) http.Handler {
+// nil; events is always served.
+func Mux(control wirepb.Control, consensus wirepb.Consensus, neighbour wirepb.Neighbour, work wirepb.Work, events EventsServer) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wirepb.TimelinePathPrefix, wirepb.NewTimelineServer(eventsServer{t}))
+	mux.Handle(wirepb.TimelinePathPrefix, wirepb.NewTimelineServer(timelineService{events}))
 	if control != nil {
 		mux.Handle(wirepb.ControlPathPrefix, wirepb.NewControlServer(control))
 	}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -194,7 +194,7 @@
 		Group: c.member, Mover: c.mover, Check: newContractChecker(c.cfg, c.clock).check,
 		Stamps: c.recorder, Clock: c.clock, Record: c.record,
 	}
-	timeline := peers.TimelineServer{Events: func(since uint64) ([]model.Event, int64) {
+	events := peers.EventsServer{Events: func(since uint64) ([]model.Event, int64) {
 		return c.recorder.Events(since), c.recorder.Counts().Dropped
 	}}
 	consensusServer := &peers.ConsensusServer[*groupMember]{Group: c.member, Stamps: c.recorder}
@@ -203,7 +203,7 @@
 		addComponent(g, c.mover)
 	}
 	addComponent(g, c.membership)
-	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), timeline), peerStopTimeout)
+	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), events), peerStopTimeout)
 	addComponent(g, newGroupRunner(c))
 	addComponent(g, adm)
 	addComponent(g, c.recorder)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -214,7 +214,7 @@
 	addComponent(g, e.link)
 	addComponent(g, e.dispatch)
 	addComponent(g, newEventForwarder(e.events, e.record))
-	addServer(g, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbourServer(), nil, e.timelineServer()), peerStopTimeout)
+	addServer(g, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbourServer(), nil, e.eventsServer()), peerStopTimeout)
 	addComponent(g, adm)
 	addComponent(g, e.recorder)
 	return nil
@@ -260,8 +260,8 @@
 	}
 }
 
-func (e *Entry) timelineServer() peers.TimelineServer {
-	return peers.TimelineServer{Events: func(since uint64) ([]model.Event, int64) {
+func (e *Entry) eventsServer() peers.EventsServer {
+	return peers.EventsServer{Events: func(since uint64) ([]model.Event, int64) {
 		return e.recorder.Events(since), e.recorder.Counts().Dropped
 	}}
 }
