Rename peers.Lender to LoanKeeper and its result clear to allEnded

The interface also ends loans that this process borrowed. The comment on HandleRecall needed three readings. Only names and comments change.

--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -173,9 +173,9 @@
 	return nil
 }
 
-// Recall makes an entry process end the loans that an earlier run of this
-// process granted to it. clear is true once all of them have ended.
-func (c *Client) Recall(ctx context.Context, m model.Member, r lend.Recall) (clear bool, err error) {
+// Recall makes an entry process end the loans that it borrowed from earlier runs
+// of this process. allEnded is true once all of them have ended.
+func (c *Client) Recall(ctx context.Context, m model.Member, r lend.Recall) (allEnded bool, err error) {
 	req := codec.RecallToWire(r)
 	req.Stamp = c.stamp()
 	resp, err := c.remote(m.Address).neighbour.Recall(ctx, req)
--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -22,18 +22,18 @@
 	// returned, because the upstream gets it from the process to which it
 	// announced itself.
 	HandleAnnouncement func(a model.Announcement)
-	Lender             Lender
+	LoanKeeper             LoanKeeper
 	Stamps             Stamps
 }
 
-// Lender is the part of an entry process that lends slots and keeps track of the
+// LoanKeeper is the part of an entry process that lends slots and keeps track of the
 // loans.
-type Lender interface {
+type LoanKeeper interface {
 	Lend(r lend.LoanRequest) lend.LoanResponse
 	HandleReturn(r lend.Return)
-	// HandleRecall ends the loans that earlier runs of the process that recalls
-	// them granted to this process. clear is true once all of them have ended.
-	HandleRecall(r lend.Recall) (clear bool)
+	// HandleRecall ends the loans that this process borrowed from earlier runs of
+	// r.Lender. allEnded is true once all of them have ended.
+	HandleRecall(r lend.Recall) (allEnded bool)
 }
 
 // Table returns the delta of the process's table after a version.
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("ask", err.Error())
 	}
-	w := codec.LoanResponseToWire(s.Lender.Lend(req))
+	w := codec.LoanResponseToWire(s.LoanKeeper.Lend(req))
 	w.Stamp = codec.StampToWire(s.Stamps.Next())
 	return w, nil
 }
@@ -78,14 +78,14 @@
 // Return handles the return of loans.
 func (s *NeighbourServer) Return(_ context.Context, r *wirepb.ReturnRequest) (*wirepb.ReturnResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	s.Lender.HandleReturn(codec.ReturnFromWire(r))
+	s.LoanKeeper.HandleReturn(codec.ReturnFromWire(r))
 	return &wirepb.ReturnResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Recall ends the loans that earlier runs of the calling process granted to this
-// process.
+// Recall ends the loans that this process borrowed from earlier runs of the
+// calling process.
 func (s *NeighbourServer) Recall(_ context.Context, r *wirepb.RecallRequest) (*wirepb.RecallResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
-	clear := s.Lender.HandleRecall(codec.RecallFromWire(r))
-	return &wirepb.RecallResponse{Clear: clear, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
+	allEnded := s.LoanKeeper.HandleRecall(codec.RecallFromWire(r))
+	return &wirepb.RecallResponse{Clear: allEnded, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -255,7 +255,7 @@
 			// from the upstream rejected it as well, or a newer one has arrived.
 			_ = e.dispatch.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a})
 		},
-		Lender: e.dispatch,
+		LoanKeeper: e.dispatch,
 		Stamps: e.recorder,
 	}
 }
