--- a/io/trans/peers/neighbour.go
+++ b/io/trans/peers/neighbour.go
@@ -22,12 +22,12 @@
 	// returned, because the upstream gets it from the process to which it
 	// announced itself.
 	HandleAnnouncement func(a model.Announcement)
-	LoanKeeper             LoanKeeper
+	LoanKeeper         LoanKeeper
 	Stamps             Stamps
 }
 
-// LoanKeeper is the part of an entry process that lends slots and keeps track of the
-// loans.
+// LoanKeeper is the part of an entry process that keeps track of its loans: those
+// that it granted and those that it borrowed.
 type LoanKeeper interface {
 	Lend(r lend.LoanRequest) lend.LoanResponse
 	HandleReturn(r lend.Return)
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -256,7 +256,7 @@
 			_ = e.dispatch.ReceiveAnnouncement(member.ReceivedAnnouncement{Announcement: a})
 		},
 		LoanKeeper: e.dispatch,
-		Stamps: e.recorder,
+		Stamps:     e.recorder,
 	}
 }
 
