Rename uplink.KindPoolFull to KindNoFreeConnection

The pool in the name was the connection pool, while Pool elsewhere is a pool of instances. The step of acquire that leads to this error follows. Only names change.

--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -177,7 +177,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) || res.Kind == uplink.KindCancelled:
 		return entry.OutcomeCancelled
-	case res.Kind == uplink.KindPoolFull:
+	case res.Kind == uplink.KindNoFreeConnection:
 		return entry.OutcomeBusy
 	case res.NotRun:
 		return entry.OutcomeConnect
--- a/io/trans/uplink/client_test.go
+++ b/io/trans/uplink/client_test.go
@@ -165,7 +165,7 @@
 			for k := range 20 {
 				_, res, err := call(t, cl, up, request(t, "GET", fmt.Sprint(w, k), ""), longTimeout)
 				if err != nil {
-					assert.Check(t, res.NotRun && res.Kind == KindPoolFull, "%v", err)
+					assert.Check(t, res.NotRun && res.Kind == KindNoFreeConnection, "%v", err)
 				}
 			}
 		})
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -75,12 +75,12 @@
 	stepUseIdle step = iota
 	stepOpen
 	stepWait
-	stepFull
+	stepNoneFree
 )
 
 // acquire returns a connection that is ready for a request; a new one if newConn
 // is set. On an error, nothing was written; the error is an *Error of
-// KindConnect, KindPoolFull or KindCancelled.
+// KindConnect, KindNoFreeConnection or KindCancelled.
 func (p *pool) acquire(ctx context.Context, up Upstream, newConn bool) (*conn, error) {
 	if err := p.updateUpstream(up); err != nil {
 		return nil, err
@@ -95,8 +95,8 @@
 				_ = c.Close()
 			}
 			return p.dial(ctx, up)
-		case stepFull:
-			return nil, newError("take", KindPoolFull, "all %d connections to %s are in use", up.MaxConnections, up.Name)
+		case stepNoneFree:
+			return nil, newError("take", KindNoFreeConnection, "all %d connections to %s are in use", up.MaxConnections, up.Name)
 		case stepWait:
 			select {
 			case <-p.changed:
@@ -132,7 +132,7 @@
 		p.open++
 		return p.popIdle(), stepOpen
 	}
-	return nil, stepFull
+	return nil, stepNoneFree
 }
 
 func (p *pool) popIdle() *conn {
--- a/io/trans/uplink/types.go
+++ b/io/trans/uplink/types.go
@@ -26,8 +26,8 @@
 	KindNone Kind = iota
 	// KindConnect: no connection could be opened.
 	KindConnect
-	// KindPoolFull: the upstream's connections are all in use.
-	KindPoolFull
+	// KindNoFreeConnection: the upstream's connections are all in use.
+	KindNoFreeConnection
 	// KindClosed: no valid response header arrived on the connection, or the
 	// WriteDeadline had passed.
 	KindClosed
