--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// SetMembers adds members or updates their addresses.
-func (s *Senders) SetMembers(all []raft.Member) {
+// AddMembers adds members or updates their addresses.
+func (s *Senders) AddMembers(all []raft.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range all {
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -53,11 +53,11 @@
 		case boot.JoinModeExisting:
 			// This process must be able to reply to the leader before it receives the
 			// member list.
-			c.senders.SetMembers(members)
+			c.senders.AddMembers(members)
 			c.record(model.Event{Kind: model.EventRole, Detail: "waiting to be added to the group"})
 		}
 	}
-	c.senders.SetMembers(stored.Snapshot.Members)
+	c.senders.AddMembers(stored.Snapshot.Members)
 	g, err := group.New(r.groupConfig(), stored, c.disk, codec.Codec{}, c.clock)
 	if err != nil {
 		return &Error{Op: "start consensus", Kind: KindStore, Err: err}
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -59,7 +59,7 @@
 // by queryStatus.
 func (m *groupMember) updateStatus(s group.Status) {
 	m.lastStatus.Store(&s)
-	m.senders.SetMembers(s.Members)
+	m.senders.AddMembers(s.Members)
 	if m.onStatus != nil {
 		m.onStatus()
 	}
@@ -110,9 +110,9 @@
 	if err != nil {
 		return err
 	}
-	m.senders.SetMembers([]raft.Member{x})
+	m.senders.AddMembers([]raft.Member{x})
 	members, err := g.Join(ctx, x)
-	m.senders.SetMembers(members)
+	m.senders.AddMembers(members)
 	return err
 }
 
