roles: rename lameDuckTime to unreadyTime

The name was figurative; it is the time for which a stopping process is reported as not ready and still accepts connections. Only names change.

--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -39,10 +39,10 @@
 // be sent. There are at most two for each entry process.
 const loanMessageRingCapacity = 1024
 
-// lameDuckTime is how long a stopping process still accepts connections while its
+// unreadyTime is how long a stopping process still accepts connections while its
 // readiness check fails and its responses have "Connection: close". In this time
 // the load balancer and callers with open connections move to other processes.
-const lameDuckTime = clock.Second
+const unreadyTime = clock.Second
 
 // dispatcher is the dispatcher with the policies that are used in production.
 type dispatcher = entry.Dispatcher[admit.WeightedFair, route.LeastLoaded, lend.Idle]
@@ -229,7 +229,7 @@
 	g.Add(func() error { return s.Serve(l) }, func(error) {
 		e.record(model.Event{Kind: model.EventStop})
 		e.leaving.Store(true)
-		<-e.clock.After(lameDuckTime)
+		<-e.clock.After(unreadyTime)
 		if err := s.Shutdown(e.cfg.Limits.DrainMillis); err != nil {
 			e.log.Error("open requests were aborted during shutdown", "err", err)
 		}
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -33,10 +33,10 @@
 	leaderTimeout = 900 * clock.Millis(1)
 	// retryDelay is the delay before a call is passed to CallRunner again.
 	retryDelay = 100 * clock.Millis(1)
-	// submitLameDuckTime is how long a stopping process still accepts connections
+	// submitUnreadyTime is how long a stopping process still accepts connections
 	// while its readiness check fails. The load balancer checks once a second and
 	// removes a process after two failed checks.
-	submitLameDuckTime  = 2200 * clock.Millis(1)
+	submitUnreadyTime   = 2200 * clock.Millis(1)
 	submitDrainTimeout  = 2500 * clock.Millis(1)
 	submitEventCapacity = 1000
 )
@@ -210,7 +210,7 @@
 }
 
 // addCallers adds the server for submitters. It stops in three steps: the readiness
-// check fails for submitLameDuckTime, the listener closes, and open requests finish
+// check fails for submitUnreadyTime, the listener closes, and open requests finish
 // within submitDrainTimeout.
 func (s SubmitService) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
 	h := o.Handler(s)
@@ -222,7 +222,7 @@
 	}), o.MaxHeaderBytes)
 	g.Add(func() error { return server.Serve(l) }, func(error) {
 		s.leaving.Store(true)
-		<-s.clock.After(submitLameDuckTime)
+		<-s.clock.After(submitUnreadyTime)
 		if err := server.Shutdown(submitDrainTimeout); err != nil {
 			s.Log.Warn("open requests were aborted during shutdown", "err", err)
 		}
