roles: name the control group's types for what they are

consensusGroup was this process's member of the control group, and groupMember the access to it with a field consensus: now raftMember, memberAccess and member. initialIndex was also a term. The comments said that the member is nil until the group has been formed or joined; it is set while the process still waits to be added, right before the event loop starts. The error of that time says what is missing.

--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -31,9 +31,9 @@
 // than their peers, and slows down when callers are affected.
 type (
 	diskStore         = store.Store[codec.Codec, store.OSFileSystem]
-	fleetMover        = mover.Mover[*groupMember, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
-	fleetMoverConfig  = mover.Config[*groupMember, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
-	membershipManager = boot.MembershipManager[*peers.Client, *groupMember]
+	fleetMover        = mover.Mover[*memberAccess, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	fleetMoverConfig  = mover.Config[*memberAccess, *platform, maint.DeadlinePacer, maint.ZTest, plan.Balance, plan.Cheapest]
+	membershipManager = boot.MembershipManager[*peers.Client, *memberAccess]
 )
 
 // Limits of maintenance waves.
@@ -59,7 +59,7 @@
 	client     *peers.Client
 	senders    *peers.Senders
 	disk       *diskStore
-	member     *groupMember
+	member     *memberAccess
 	mover      *fleetMover
 	membership *membershipManager
 	// jobs is nil in a process that schedules no jobs.
@@ -126,8 +126,8 @@
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
-	c.member = newMember(hello, c.senders)
-	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *groupMember]{
+	c.member = newMemberAccess(hello, c.senders)
+	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *memberAccess]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
 		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
@@ -189,7 +189,7 @@
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
-	server := &peers.ControlServer[*groupMember, *fleetMover]{
+	server := &peers.ControlServer[*memberAccess, *fleetMover]{
 		Self: memberOf(c.cfg.Controls, c.cfg.Name), Controls: c.cfg.Controls, Entries: c.cfg.Entries,
 		Group: c.member, Mover: c.mover, Check: newContractChecker(c.cfg, c.clock).check,
 		Stamps: c.recorder, Clock: c.clock, Record: c.record,
@@ -197,7 +197,7 @@
 	events := peers.EventsServer{Events: func(since uint64) ([]model.Event, int64) {
 		return c.recorder.Events(since), c.recorder.Counts().Dropped
 	}}
-	consensusServer := &peers.ConsensusServer[*groupMember]{Group: c.member, Stamps: c.recorder}
+	consensusServer := &peers.ConsensusServer[*memberAccess]{Group: c.member, Stamps: c.recorder}
 	// If no entry processes are configured, there are no instances to move.
 	if len(c.cfg.Entries) > 0 {
 		addComponent(g, c.mover)
@@ -238,17 +238,17 @@
 	c.addJobMetrics(r)
 	_ = admin.RegisterGauge(r, "term", func() int64 { return int64(c.member.Status().Term) })
 	_ = admin.RegisterGauge(r, "commit-index", func() int64 { return int64(c.member.queryStatus(context.Background()).Commit) })
-	consensusCount := func(f func(group.Counts) int64) func() int64 {
+	memberCount := func(f func(group.Counts) int64) func() int64 {
 		return func() int64 { return f(c.member.queryStatus(context.Background()).Counts) }
 	}
 	registerCounters(r, []counter{
-		{"proposals", consensusCount(func(n group.Counts) int64 { return n.Proposals })},
-		{"log-writes", consensusCount(func(n group.Counts) int64 { return n.LogWrites })},
-		{"log-write-failures", consensusCount(func(n group.Counts) int64 { return n.DiskFailures })},
-		{"snapshots", consensusCount(func(n group.Counts) int64 { return n.Snapshots })},
-		{"snapshot-failures", consensusCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
-		{"proposals-unknown", consensusCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
-		{"consensus-inputs-refused", consensusCount(func(n group.Counts) int64 { return n.RefusedInputs })},
+		{"proposals", memberCount(func(n group.Counts) int64 { return n.Proposals })},
+		{"log-writes", memberCount(func(n group.Counts) int64 { return n.LogWrites })},
+		{"log-write-failures", memberCount(func(n group.Counts) int64 { return n.DiskFailures })},
+		{"snapshots", memberCount(func(n group.Counts) int64 { return n.Snapshots })},
+		{"snapshot-failures", memberCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
+		{"proposals-unknown", memberCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
+		{"consensus-inputs-refused", memberCount(func(n group.Counts) int64 { return n.RefusedInputs })},
 	})
 	_ = admin.RegisterGauge(r, "leader", func() int64 {
 		if _, ok := c.member.Leads(); ok {
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -13,9 +13,9 @@
 	"camphorridge/io/proto/codec"
 )
 
-// consensusGroup is this process's member of the control group, with the storage and
+// raftMember is this process's member of the control group, with the storage and
 // the codec that are used in production.
-type consensusGroup = group.Group[*diskStore, codec.Codec]
+type raftMember = group.Group[*diskStore, codec.Codec]
 
 const (
 	// maxAppendBytes is the maximum size of the entries in one Raft message, and
@@ -44,7 +44,8 @@
 		mode, members := boot.AwaitJoinMode(c.client, c.member.self, c.cfg.Controls, c.clock, r.done)
 		switch mode {
 		case boot.JoinModeRetry:
-			// AwaitJoinMode ended because Stop was called.
+			// AwaitJoinMode returns JoinModeRetry only if r.done is closed, that is, after
+			// Stop; Run then ends without an error.
 			return nil
 		case boot.JoinModeFounder:
 			if err := r.formGroup(&stored, members); err != nil {
@@ -58,24 +59,24 @@
 		}
 	}
 	c.senders.AddMembers(stored.Snapshot.Members)
-	g, err := group.New(r.groupConfig(), stored, c.disk, codec.Codec{}, c.clock)
+	member, err := group.New(r.groupConfig(), stored, c.disk, codec.Codec{}, c.clock)
 	if err != nil {
 		return &Error{Op: "start consensus", Kind: KindStore, Err: err}
 	}
-	c.member.setConsensus(g)
-	return r.runConsensus(g)
+	c.member.setMember(member)
+	return r.runMember(member)
 }
 
-// runConsensus runs the group member until Stop is called.
-func (r *groupRunner) runConsensus(g *consensusGroup) error {
+// runMember runs the member until Stop is called.
+func (r *groupRunner) runMember(member *raftMember) error {
 	ended := make(chan error, 1)
-	go func() { ended <- g.Run() }()
+	go func() { ended <- member.Run() }()
 	defer r.ctrl.senders.Stop()
 	select {
 	case err := <-ended:
 		return err
 	case <-r.done:
-		g.Stop()
+		member.Stop()
 		return <-ended
 	}
 }
@@ -83,18 +84,18 @@
 // Stop ends Run. It must be called at most once.
 func (r *groupRunner) Stop() { close(r.done) }
 
-// initialIndex is the index and the term of the initial snapshot, which holds the
-// empty state and the initial member list. Every founder of a group writes the same
-// snapshot on its own.
-const initialIndex = 1
+// initialIndexAndTerm is both the index and the term of the initial snapshot, which
+// holds the empty state and the initial member list. Every founder of a group writes
+// the same snapshot on its own.
+const initialIndexAndTerm = 1
 
 // formGroup writes the initial snapshot. The member's term is that of the snapshot,
 // so that the term of the first leader is higher.
 func (r *groupRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
-	stored.Snapshot = raft.SnapshotMeta{Index: initialIndex, Term: initialIndex, Members: members}
-	stored.Hard = raft.HardState{Term: initialIndex, Commit: initialIndex}
+	stored.Snapshot = raft.SnapshotMeta{Index: initialIndexAndTerm, Term: initialIndexAndTerm, Members: members}
+	stored.Hard = raft.HardState{Term: initialIndexAndTerm, Commit: initialIndexAndTerm}
 	s := fleet.New()
-	s.Index = initialIndex
+	s.Index = initialIndexAndTerm
 	err := r.ctrl.disk.InstallSnapshot(stored.Snapshot, codec.Codec{}.EncodeState(s))
 	if err == nil {
 		err = r.ctrl.disk.Save(&stored.Hard, nil)
@@ -107,12 +108,12 @@
 }
 
 const (
-	// consensusTickInterval is the interval of the Raft clock.
-	consensusTickInterval clock.Millis = 50
-	// consensusRingCapacity is the maximum number of inputs that wait for the event
-	// loop of the group.
-	consensusRingCapacity = 4096
-	maxPendingProposals   = 4096
+	// raftTickInterval is the interval of the Raft clock.
+	raftTickInterval clock.Millis = 50
+	// memberRingCapacity is the maximum number of inputs that wait for the event
+	// loop of the member.
+	memberRingCapacity  = 4096
+	maxPendingProposals = 4096
 	// diskRetryDelay is the time after which a failed write is tried again.
 	diskRetryDelay clock.Millis = 500
 )
@@ -127,14 +128,16 @@
 			MaxAppendBytes: maxAppendBytes, ChunkBytes: snapshotChunkBytes, KeepEntries: keptEntries,
 			Seed: h.Sum64() + uint64(r.ctrl.clock.Now()),
 		},
-		TickInterval: consensusTickInterval, RingCapacity: consensusRingCapacity, MaxPending: maxPendingProposals,
+		TickInterval: raftTickInterval, RingCapacity: memberRingCapacity, MaxPending: maxPendingProposals,
 		SnapshotEntries: uint64(c.SnapshotEvery), RetryDelay: diskRetryDelay,
 		Send: r.ctrl.senders.Send, Observe: r.observe,
 	}
 }
 
 // observe updates the status, and records changes of the role and the term and the
-// start of a disk failure in the event log. The event loop of the group calls it.
+// start of a disk failure in the event log. Both use EventRole, because there is no
+// kind of event for disk failures, and the version of an event about the role is the
+// term. The event loop of the member calls observe.
 func (r *groupRunner) observe(s group.Status) {
 	before := r.ctrl.member.lastStatus.Load()
 	r.ctrl.member.updateStatus(s)
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -23,7 +23,7 @@
 const minQuarantineScore = 3
 
 // JobsRunner is the job runner with the policies that are used in production.
-type JobsRunner = runner.Runner[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
+type JobsRunner = runner.Runner[*memberAccess, runner.Machines, sched.EarliestDeadline, place.PeerComparison]
 
 // JobsOptions configures how a control process schedules jobs.
 type JobsOptions struct {
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	c.jobs = runner.New(runner.Config[*groupMember, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
+	c.jobs = runner.New(runner.Config[*memberAccess, runner.Machines, sched.EarliestDeadline, place.PeerComparison]{
 		Name: string(c.cfg.Name), Group: c.member, Machines: o.Machines, Rank: sched.EarliestDeadline{},
 		Health: place.PeerComparison{MinScore: minQuarantineScore}, Settings: o.Settings, Clock: c.clock, Notes: c.logDecisions,
 		ObserveCommit: func(d clock.Millis) { c.commitMillis.Update(int64(d)) },
@@ -113,7 +113,7 @@
 
 // workServer returns the server for submitters' calls, or nil if the process
 // schedules no jobs.
-func (c *Control) workServer(s *peers.ControlServer[*groupMember, *fleetMover]) wirepb.Work {
+func (c *Control) workServer(s *peers.ControlServer[*memberAccess, *fleetMover]) wirepb.Work {
 	if c.jobs == nil {
 		return nil
 	}
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -16,14 +16,13 @@
 	"camphorridge/io/trans/peers"
 )
 
-// statusTimeout is the maximum time to wait for the status of the consensus group.
+// statusTimeout is the maximum time to wait for the status of this process's member.
 const statusTimeout = clock.Second
 
-// groupMember gives the servers, the mover and the job runner access to this
-// process's member of the control group. Until the group has been formed or joined,
-// Hello already describes this process, the status is empty, and calls that need the
-// group fail.
-type groupMember struct {
+// memberAccess gives the servers, the mover and the job runner access to this
+// process's member of the control group. Until the member is set, Hello already
+// describes this process, the status is empty, and calls that need the member fail.
+type memberAccess struct {
 	self    boot.Hello
 	senders *peers.Senders
 	// lastStatus is the latest status; nil before the first.
@@ -31,33 +30,38 @@
 	// onStatus, if set, is called after each update of the status; it must not block.
 	onStatus func()
 	mu       sync.Mutex
-	// consensus is nil until the group has been formed or joined.
-	consensus *consensusGroup
+	// member is set right before its event loop starts: once this process has formed
+	// the group, or has found the group that it then waits to be added to. It is nil
+	// before that.
+	member *raftMember
 }
 
-func newMember(h boot.Hello, s *peers.Senders) *groupMember { return &groupMember{self: h, senders: s} }
+func newMemberAccess(h boot.Hello, s *peers.Senders) *memberAccess {
+	return &memberAccess{self: h, senders: s}
+}
 
-// setConsensus makes a started consensus group available to all calls.
-func (m *groupMember) setConsensus(g *consensusGroup) {
+// setMember makes the member available to all calls. Its event loop starts right
+// afterwards.
+func (m *memberAccess) setMember(member *raftMember) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.consensus = g
+	m.member = member
 }
 
-// getConsensus returns the consensus group, or an error if it isn't set yet.
-func (m *groupMember) getConsensus() (*consensusGroup, error) {
+// getMember returns the member, or an error if it isn't set yet.
+func (m *memberAccess) getMember() (*raftMember, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.consensus == nil {
-		return nil, &Error{Op: "consensus", Kind: KindServe, Err: fmt.Errorf("the group is not formed yet")}
+	if m.member == nil {
+		return nil, &Error{Op: "consensus", Kind: KindServe, Err: fmt.Errorf("this process has neither formed nor found the control group yet")}
 	}
-	return m.consensus, nil
+	return m.member, nil
 }
 
 // updateStatus stores a new status and passes the members to the senders. It is
 // called after each change of the role, term, leader, member list or disk state, and
 // by queryStatus.
-func (m *groupMember) updateStatus(s group.Status) {
+func (m *memberAccess) updateStatus(s group.Status) {
 	m.lastStatus.Store(&s)
 	m.senders.AddMembers(s.Members)
 	if m.onStatus != nil {
@@ -65,16 +69,16 @@
 	}
 }
 
-// queryStatus requests the current status from the event loop of the group. It
-// returns the zero status if there is no group yet or no answer within statusTimeout.
-func (m *groupMember) queryStatus(ctx context.Context) group.Status {
-	g, err := m.getConsensus()
+// queryStatus requests the current status from the event loop of the member. It
+// returns the zero status if there is no member yet or no answer within statusTimeout.
+func (m *memberAccess) queryStatus(ctx context.Context) group.Status {
+	member, err := m.getMember()
 	if err != nil {
 		return group.Status{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
 	defer cancel()
-	s, err := g.Status(ctx)
+	s, err := member.Status(ctx)
 	if err != nil {
 		return group.Status{}
 	}
@@ -84,7 +88,7 @@
 
 // Refresh requests the current status, passes the addresses of the members to the
 // senders, and returns this process's view of the group.
-func (m *groupMember) Refresh(ctx context.Context) boot.View {
+func (m *memberAccess) Refresh(ctx context.Context) boot.View {
 	s := m.queryStatus(ctx)
 	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
 	for _, p := range s.Peers {
@@ -96,29 +100,29 @@
 }
 
 // Remove removes a member. It fails unless this process is the leader.
-func (m *groupMember) Remove(ctx context.Context, id raft.MemberID) error {
-	g, err := m.getConsensus()
+func (m *memberAccess) Remove(ctx context.Context, id raft.MemberID) error {
+	member, err := m.getMember()
 	if err != nil {
 		return err
 	}
-	return g.Remove(ctx, id)
+	return member.Remove(ctx, id)
 }
 
 // Join adds a member. It fails unless this process is the leader.
-func (m *groupMember) Join(ctx context.Context, x raft.Member) error {
-	g, err := m.getConsensus()
+func (m *memberAccess) Join(ctx context.Context, x raft.Member) error {
+	member, err := m.getMember()
 	if err != nil {
 		return err
 	}
 	m.senders.AddMembers([]raft.Member{x})
-	members, err := g.Join(ctx, x)
+	members, err := member.Join(ctx, x)
 	m.senders.AddMembers(members)
 	return err
 }
 
 // Hello describes this process to the other control processes. The process counts as
 // initialised once it has a member list; see boot.Hello for the founders.
-func (m *groupMember) Hello() boot.Hello {
+func (m *memberAccess) Hello() boot.Hello {
 	h := m.self
 	members := m.queryStatus(context.Background()).Members
 	h.Initialised = h.Initialised || len(members) > 0
@@ -133,67 +137,67 @@
 
 // Propose proposes a change and returns its result once it is applied. If this
 // process isn't the leader, the error is a notLeaderError.
-func (m *groupMember) Propose(ctx context.Context, c model.Change) (model.Result, error) {
-	g, err := m.getConsensus()
+func (m *memberAccess) Propose(ctx context.Context, c model.Change) (model.Result, error) {
+	member, err := m.getMember()
 	if err != nil {
 		return model.Result{}, notLeaderError{}
 	}
-	r, err := g.Propose(ctx, c)
+	r, err := member.Propose(ctx, c)
 	return r, asNotLeaderError(err)
 }
 
 // Read returns once a subsequent Query is certain to observe every change that was
 // acknowledged before the call. If this process isn't the leader, the error is a
 // notLeaderError.
-func (m *groupMember) Read(ctx context.Context) error {
-	g, err := m.getConsensus()
+func (m *memberAccess) Read(ctx context.Context) error {
+	member, err := m.getMember()
 	if err != nil {
 		return err
 	}
-	return asNotLeaderError(g.ReadBarrier(ctx))
+	return asNotLeaderError(member.ReadBarrier(ctx))
 }
 
 // Query calls f with the state as applied on this member. f must neither modify nor
 // keep the state.
-func (m *groupMember) Query(ctx context.Context, f func(*fleet.State)) error {
-	g, err := m.getConsensus()
+func (m *memberAccess) Query(ctx context.Context, f func(*fleet.State)) error {
+	member, err := m.getMember()
 	if err != nil {
 		return err
 	}
-	return g.Query(ctx, f)
+	return member.Query(ctx, f)
 }
 
-// Await returns once the table's version is above v, the group stops, or ctx is
-// done.
-func (m *groupMember) Await(ctx context.Context, v model.Version) {
-	g, err := m.getConsensus()
+// Await returns once the table's version is above v, this process's member stops, or
+// ctx is done.
+func (m *memberAccess) Await(ctx context.Context, v model.Version) {
+	member, err := m.getMember()
 	if err != nil {
 		<-ctx.Done()
 		return
 	}
-	fired, err := g.Watch(ctx, v)
+	fired, err := member.Watch(ctx, v)
 	if err != nil {
 		return
 	}
 	select {
 	case <-fired:
-	case <-g.Done():
+	case <-member.Done():
 	case <-ctx.Done():
 	}
 }
 
-// Step passes messages of other members to the group.
-func (m *groupMember) Step(all []raft.Message) error {
-	g, err := m.getConsensus()
+// Step passes messages of other members to this process's member.
+func (m *memberAccess) Step(all []raft.Message) error {
+	member, err := m.getMember()
 	if err != nil {
 		return err
 	}
-	g.Step(all)
+	member.Step(all)
 	return nil
 }
 
 // Status returns the role, term and leader as of the latest status update.
-func (m *groupMember) Status() peers.GroupStatus {
+func (m *memberAccess) Status() peers.GroupStatus {
 	s := m.lastStatus.Load()
 	if s == nil {
 		return peers.GroupStatus{}
@@ -203,14 +207,14 @@
 
 // Leads returns the term and whether this process is the leader, as of the latest
 // status update.
-func (m *groupMember) Leads() (uint64, bool) {
+func (m *memberAccess) Leads() (uint64, bool) {
 	s := m.Status()
 	return s.Term, s.Role == raft.RoleLeader
 }
 
 // NotApplied reports whether an error of Propose means that the change was not and
 // will not be applied.
-func (m *groupMember) NotApplied(err error) bool {
+func (m *memberAccess) NotApplied(err error) bool {
 	var n notLeaderError
 	var e *group.Error
 	return errors.As(err, &n) || (errors.As(err, &e) && e.Kind != group.KindOutcomeUnknown)
@@ -228,8 +232,8 @@
 	return string(e.leader.Name), e.leader.Address
 }
 
-// asNotLeaderError converts a group error of KindNotLeader to a notLeaderError and
-// returns other errors unchanged.
+// asNotLeaderError converts an error of KindNotLeader of package group to a
+// notLeaderError and returns other errors unchanged.
 func asNotLeaderError(err error) error {
 	var e *group.Error
 	if errors.As(err, &e) && e.Kind == group.KindNotLeader {
