codec: say which calls are not sent, and what limits and kinds cover

CallFromWire said that it rejects kinds that are not defined; it also rejects those for the configuration and for waves, which are never sent between processes. The ID in a submitted job is unused but must not be empty. There is no call query. maxLoanSlots also limits connections and maxLoanTime two different times. KindRange is also used for numeric limits. decode names only the protobuf error as op.

Checks: go test -short of the package.

--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -8,7 +8,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// CallToWire converts a call about jobs (submit, cancel, query) to its message.
+// CallToWire converts a call about jobs to its message. Calls about the
+// configuration and about waves are not sent between processes, so the message has
+// no fields for Config, Wave and WaveNumber.
 func CallToWire(c runner.Call) *wirepb.WorkCall {
 	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: validUTF8(c.Host), Path: validUTF8(c.Path), Queue: validUTF8(c.Queue), Id: validUTF8(c.JobID)}
 	if c.Kind == runner.CallSubmit {
@@ -17,9 +19,12 @@
 	return w
 }
 
-// CallFromWire converts a message to a call about jobs. It returns an error if
-// the kind is not defined or a submitted job is not valid. A submitted job gets its
-// ID from the Path or the JobID of the call; the ID in the job itself is not used.
+// CallFromWire converts a message to a call about jobs. It returns an error if the
+// kind is not one of CallSubmit to CallList, or if a submitted job is not valid. The
+// kinds for the configuration and for waves are rejected too, because such calls are
+// not sent between processes. A submitted job gets its ID from the Path or the JobID
+// of the call. The ID in the job itself is not used, but JobFromWire rejects a job
+// in which it is empty.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
 	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
 	if err != nil {
@@ -34,7 +39,8 @@
 	return c, err
 }
 
-// AnswerToWire converts the answer to a call about jobs to its message.
+// AnswerToWire converts the answer to a call about jobs to its message. The fields
+// for the configuration and for waves are not sent.
 func AnswerToWire(a runner.Answer) *wirepb.WorkAnswer {
 	w := &wirepb.WorkAnswer{
 		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
--- a/io/proto/codec/codec.go
+++ b/io/proto/codec/codec.go
@@ -35,8 +35,8 @@
 func (Codec) EncodeState(s *fleet.State) []byte { return encode(StateToWire(s)) }
 
 // DecodeState is the inverse of EncodeState. Every later change has the same
-// result on the decoded state as on the encoded one, because the order and the
-// times in which results and claims expire are restored too.
+// result on the decoded state as on the encoded one, because the times at which
+// results and claims expire and their order are restored too.
 func (Codec) DecodeState(b []byte) (*fleet.State, error) {
 	return decode("state", b, &wirepb.FleetSnapshot{}, StateFromWire)
 }
@@ -52,8 +52,8 @@
 	return b
 }
 
-// decode parses b into m and converts m to a value with from. Errors name the
-// message as op.
+// decode parses b into m and converts m to a value with from. If b cannot be
+// parsed, the error has op as its Op; errors of from are returned unchanged.
 func decode[M proto.Message, V any](op string, b []byte, m M, from func(M) (V, error)) (V, error) {
 	if err := proto.Unmarshal(b, m); err != nil {
 		var zero V
--- a/io/proto/codec/errors.go
+++ b/io/proto/codec/errors.go
@@ -11,7 +11,8 @@
 	KindEncoding Kind = iota
 	// KindMissing: a required field is empty.
 	KindMissing
-	// KindRange: a field holds a value that its type does not define.
+	// KindRange: a field holds a value that its enumeration does not define, a
+	// number outside of its limits, or a value that contradicts another field.
 	KindRange
 )
 
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -11,11 +11,12 @@
 
 // Limits on the values of messages about loans.
 const (
-	// maxLoanSlots is the largest number of slots or connections in a request or a
-	// loan.
-	maxLoanSlots = 1 << 16
-	// maxLoanTime is the longest lease and the longest maximum request time.
-	maxLoanTime = clock.Hour
+	// maxSlotsOrConnections is the largest number of slots in a request, and of slots
+	// and of connections in a loan.
+	maxSlotsOrConnections = 1 << 16
+	// maxLeaseOrRequestTime bounds two times: the lease in a response, and the
+	// maximum request time of the borrower in a request.
+	maxLeaseOrRequestTime = clock.Hour
 )
 
 // LoanRequestToWire converts a request to borrow or renew upstream slots to its
@@ -34,8 +35,8 @@
 	const op = "loan request"
 	err := firstError(
 		required(op, "borrower", w.GetBorrower(), "pool", w.GetPool()),
-		checkRange(op, "slots", w.GetSlots(), 0, maxLoanSlots),
-		checkRange(op, "hold", w.GetHoldMs(), 0, int64(maxLoanTime)),
+		checkRange(op, "slots", w.GetSlots(), 0, maxSlotsOrConnections),
+		checkRange(op, "hold", w.GetHoldMs(), 0, int64(maxLeaseOrRequestTime)),
 	)
 	if err != nil {
 		return lend.LoanRequest{}, err
@@ -59,7 +60,7 @@
 // returns an error if the lease is out of range or any of the loans is not
 // valid.
 func LoanResponseFromWire(w *wirepb.LendResponse) (lend.LoanResponse, error) {
-	if err := checkRange("loan response", "lease", w.GetLeaseMs(), 0, int64(maxLoanTime)); err != nil {
+	if err := checkRange("loan response", "lease", w.GetLeaseMs(), 0, int64(maxLeaseOrRequestTime)); err != nil {
 		return lend.LoanResponse{}, err
 	}
 	loans, err := tryMapAll(w.GetLoans(), loanFromWire)
@@ -109,8 +110,8 @@
 	const op = "loan"
 	err := firstError(
 		required(op, "instance", w.GetInstance(), "pool", w.GetPool(), "address", w.GetAddress()),
-		checkRange(op, "slots", w.GetSlots(), 1, maxLoanSlots),
-		checkRange(op, "connections", w.GetConnections(), w.GetSlots(), maxLoanSlots),
+		checkRange(op, "slots", w.GetSlots(), 1, maxSlotsOrConnections),
+		checkRange(op, "connections", w.GetConnections(), w.GetSlots(), maxSlotsOrConnections),
 	)
 	if err != nil {
 		return lend.Loan{}, err
--- a/io/proto/codec/raft.go
+++ b/io/proto/codec/raft.go
@@ -43,7 +43,7 @@
 	}, nil
 }
 
-// GroupMemberToWire converts a member of the Raft group to its message.
+// GroupMemberToWire converts a member of the control group to its message.
 func GroupMemberToWire(m raft.Member) *wirepb.GroupMember {
 	return &wirepb.GroupMember{
 		Id:      uint64(m.ID),
@@ -54,8 +54,8 @@
 	}
 }
 
-// GroupMemberFromWire converts a message to a member of the Raft group. It returns
-// an error if the id is 0.
+// GroupMemberFromWire converts a message to a member of the control group. It
+// returns an error if the id is 0.
 func GroupMemberFromWire(w *wirepb.GroupMember) (raft.Member, error) {
 	if w.GetId() == 0 {
 		return raft.Member{}, &Error{Op: "group member", Kind: KindMissing, Err: fmt.Errorf("id is 0; ids are greater than 0")}
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -49,8 +49,8 @@
 }
 
 // TestStateRoundTrip checks that a snapshot keeps every part of the state that
-// anyState generates, and the order and the times in which results and claims
-// expire.
+// anyState generates, including the times at which results and claims expire and
+// their order.
 func TestStateRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := anyState(t)
