conf: name the buffered part of the body, the event log and the spare pool

body-read-ms limits the reading of the buffered part of a body only. The time line is the merge of all event logs; the settings concern the log of one process. "instances are reserved for control processes" used instance for a host.

Checks: go test -short of the package.

--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -11,7 +11,7 @@
 )
 
 // maxControlMembers is the largest number of members of the control group: at most 7
-// instances are reserved for control processes.
+// hosts are reserved for control processes.
 const maxControlMembers = 7
 
 // joinDistinct joins the texts with commas, in their order and without repetitions.
@@ -144,7 +144,7 @@
 	for _, p := range c.Pools {
 		instances += p.Instances
 		if c.SparePool == p.Pool {
-			d.addProblem("spare", "pool", string(c.SparePool), "pool is also a promised pool", "a pool without a section [pool NAME]")
+			d.addProblem("spare", "pool", string(c.SparePool), "the spare pool is also a promised pool", "a pool without a section [pool NAME]")
 		}
 	}
 	if len(c.Pools) == 0 && d.noProblemIn("pool ") {
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -15,7 +15,7 @@
 	// Peers is the address for the other processes of the system and for the command
 	// line.
 	Peers string
-	// Admin is the address for the metrics, the health check and the time line.
+	// Admin is the address for the metrics, the health check and the event log.
 	Admin string
 }
 
@@ -24,8 +24,9 @@
 	// MaxHeaderBytes and MaxBodyBytes are the largest header and body of a request.
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	// BodyReadMillis is the longest time to read the body of a request. It is at
-	// most MaxTimeoutMillis.
+	// BodyReadMillis is the longest time to read the part of a request body that is
+	// buffered before the request is queued; the rest of a larger body is streamed
+	// later, within the timeout of the request. It is at most MaxTimeoutMillis.
 	BodyReadMillis clock.Millis
 	// DefaultTimeoutMillis is the timeout of a request that does not set one. It is
 	// at most MaxTimeoutMillis.
@@ -64,7 +65,8 @@
 	DrainMillis clock.Millis
 }
 
-// Consensus holds the timing of the Raft group and the file sizes of its log.
+// Consensus holds the timing of Raft in the control group, and the sizes of the log
+// and its files.
 type Consensus struct {
 	// ElectionMillis is the shortest time without a message from a leader after
 	// which a follower starts an election. The longest is twice that.
@@ -119,7 +121,7 @@
 	Lending Lending
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
-	// EventCapacity is the largest number of time-line events kept.
+	// EventCapacity is the largest number of events kept in the event log.
 	EventCapacity int
 }
 
@@ -161,7 +163,7 @@
 	Maintenance   Maintenance
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
-	// EventCapacity is the largest number of time-line events kept.
+	// EventCapacity is the largest number of events kept in the event log.
 	EventCapacity int
 }
 
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -73,7 +73,7 @@
 func listenKeys[T any](field func(*T) *Listen) []Key[T] {
 	return []Key[T]{
 		textKey("listen", "peers", "", listenRule, "address for the other processes of the system and for the command line", func(t *T) *string { return &field(t).Peers }),
-		textKey("listen", "admin", "", listenRule, "address for metrics, health and the time line", func(t *T) *string { return &field(t).Admin }),
+		textKey("listen", "admin", "", listenRule, "address for metrics, health and the event log", func(t *T) *string { return &field(t).Admin }),
 	}
 }
 
@@ -120,7 +120,7 @@
 	return []Key[Entry]{
 		intKey("limits", "max-header-bytes", "bytes", "65536", kib, 1024*kib, "largest header of a request; a larger one is refused with HTTP status 431", func(e *Entry) *int { return &e.Limits.MaxHeaderBytes }),
 		intKey("limits", "max-body-bytes", "bytes", "67108864", kib, 1<<40, "largest body of a request; a larger one is refused with HTTP status 413", func(e *Entry) *int64 { return &e.Limits.MaxBodyBytes }),
-		intKey("limits", "body-read-ms", "ms", "30000", 10, 10*clock.Minute, "longest time to read the body of a request; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.BodyReadMillis }),
+		intKey("limits", "body-read-ms", "ms", "30000", 10, 10*clock.Minute, "longest time to read the part of a request body that is buffered before the request is queued, its first 64 KiB; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.BodyReadMillis }),
 		intKey("limits", "default-timeout-ms", "ms", "5000", 1, 10*clock.Minute, "timeout of a request that does not set one; at most max-timeout-ms", func(e *Entry) *clock.Millis { return &e.Limits.DefaultTimeoutMillis }),
 		intKey("limits", "max-timeout-ms", "ms", "60000", 1, 10*clock.Minute, "longest timeout that a request may set", func(e *Entry) *clock.Millis { return &e.Limits.MaxTimeoutMillis }),
 		leaseKey(func(e *Entry) *clock.Millis { return &e.Limits.LeaseMillis }),
@@ -146,7 +146,7 @@
 func commonKeys[T any](level func(*T) *string, capacity func(*T) *int) []Key[T] {
 	return []Key[T]{
 		textKey("log", "level", "info", oneOfRule("debug", "info", "warn", "error"), "least severe level that is logged", level),
-		intKey("events", "capacity", "events", "4096", 16, 1<<20, "largest number of time-line events kept; beyond it, the oldest are dropped and counted", capacity),
+		intKey("events", "capacity", "events", "4096", 16, 1<<20, "largest number of events kept in the event log; beyond it, the oldest are dropped and counted", capacity),
 	}
 }
 
