peers, report: name the applied index, Check's exceptions and the full ring

StatusResponse.Commit is the index of the last entry that the member has applied, not the commit index. proposeResponse also records an event. Check is not called for outcomes and repeated requests either. The doc of Group referred to an unexported interface. "the leader is busy" said neither why nor what to do; entry processes do not match the text.

Checks: go test -short of the packages.

--- a/io/proto/report/report.go
+++ b/io/proto/report/report.go
@@ -16,7 +16,7 @@
 	// Role is the role of Member in the control group.
 	Role string
 	Term uint64
-	// Commit is the Raft commit index.
+	// Commit is the index of the last log entry that Member has applied.
 	Commit model.Version
 	// Version is the version of the current routing table (contracts and instances),
 	// which is the index of the log entry that last changed it.
--- a/io/trans/peers/announce.go
+++ b/io/trans/peers/announce.go
@@ -34,8 +34,10 @@
 type AnnounceFunc func(a model.Announcement) (AnnounceResult, error)
 
 // AnnounceHandler returns a handler that serves POST /announce to upstreams. The
-// response is form-encoded. It holds lease-ms and, if known, pool; or else
-// reason, with status 400 for a malformed announcement and 409 for a refused one.
+// response is form-encoded. For an accepted announcement it holds the field
+// lease-ms and, if the pool of the instance is known, the field pool. Otherwise it
+// holds only the field reason, and the status is 400 if the announcement is
+// malformed and 409 if it is refused.
 func AnnounceHandler(announce AnnounceFunc) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", func(w http.ResponseWriter, r *http.Request) {
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -20,11 +20,11 @@
 // maxWatchWait limits the time for which a Watch call may wait for a change.
 const maxWatchWait = 10 * clock.Second
 
-// Group gives the servers access to the consensus group of the control
-// processes.
+// Group gives the servers access to the control group.
 type Group interface {
-	// Propose proposes a change and returns its result once it is applied. A
-	// notLeaderError means that nothing was proposed.
+	// Propose proposes a change and returns its result once it is applied. An
+	// error with a method KnownLeader() (name, address string) means that this
+	// member is not the leader and that nothing was proposed.
 	Propose(ctx context.Context, c model.Change) (model.Result, error)
 	// Read returns once the replicated state is recent enough for a
 	// linearizable read that starts now.
@@ -74,7 +74,9 @@
 	Entries  []model.Member
 	Group    G
 	Mover    M
-	// Check is called for changes other than claims; nil accepts all.
+	// Check is called for each change, except for claims, outcomes of claims,
+	// and repeated changes whose request ID already has a result. If it is nil,
+	// no change is checked.
 	Check  Checker
 	Stamps Stamps
 	Clock  clock.Clock
@@ -119,14 +121,14 @@
 	}
 	refusal, note := s.checkChange(ctx, c)
 	if refusal != "" {
-		return s.proposeResponse(c, model.Result{Kind: model.ResultInvalid, Reason: refusal}), nil
+		return s.recordAndRespond(c, model.Result{Kind: model.ResultInvalid, Reason: refusal}), nil
 	}
 	c.Note = note
 	res, err := s.Group.Propose(ctx, c)
 	if err != nil {
 		return nil, s.proposeError(err)
 	}
-	return s.proposeResponse(c, res), nil
+	return s.recordAndRespond(c, res), nil
 }
 
 // checkChange runs Check on a change. It accepts a change whose request ID
@@ -160,14 +162,15 @@
 	return twirp.NewError(twirp.Unknown, err.Error())
 }
 
-// proposeResponse records the result of a change and returns the response.
-func (s *ControlServer[G, M]) proposeResponse(c model.Change, r model.Result) *wirepb.ProposeResponse {
+// recordAndRespond adds a change and its result to the event log and returns the
+// response.
+func (s *ControlServer[G, M]) recordAndRespond(c model.Change, r model.Result) *wirepb.ProposeResponse {
 	s.recordChange(c, r)
 	return &wirepb.ProposeResponse{Result: codec.ResultToWire(r), Stamp: codec.StampToWire(s.Stamps.Next())}
 }
 
-// recordChange adds a change to the event log. Claims and their outcomes are
-// left out, because there are too many of them.
+// recordChange adds a change and its result to the event log. Claims and their
+// outcomes are left out, because there are too many of them.
 func (s *ControlServer[G, M]) recordChange(c model.Change, r model.Result) {
 	if c.Kind == model.ChangeClaims || c.Kind == model.ChangeOutcomes {
 		return
@@ -226,12 +229,12 @@
 	// than the one in which the mover takes the report.
 	term := s.Group.Status().Term
 	if !s.Mover.Report(rep) {
-		return nil, twirp.NewError(twirp.Unavailable, "the leader is busy")
+		return nil, twirp.NewError(twirp.Unavailable, "the mover's input ring is full; send the report again later")
 	}
 	return &wirepb.ReportResponse{Term: term, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Status returns the leader's view of the fleet.
+// Status returns the leader's view of the system.
 func (s *ControlServer[G, M]) Status(ctx context.Context, _ *wirepb.StatusRequest) (*wirepb.StatusResponse, error) {
 	if err := s.requireLeader(); err != nil {
 		return nil, err
@@ -258,6 +261,8 @@
 }
 
 func fillFleet(w *wirepb.StatusResponse, f *fleet.State) {
+	// The index of the last log entry that this member has applied; it can be below
+	// the commit index of Raft.
 	w.Commit = uint64(f.Index)
 	w.Version = uint64(f.Version)
 	for _, c := range f.Contracts {
--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// notLeaderError is implemented by errors of Group that mean that this member is
-// not the leader.
+// notLeaderError is implemented by the errors of Group that mean that this member
+// is not the leader.
 type notLeaderError interface {
 	error
 	// KnownLeader returns the leader's name and address; empty if unknown.
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -20,8 +20,8 @@
 	Waits []Wait
 }
 
-// Wait is a reason why the mover cannot take a step or reach a goal yet; its
-// fields are those of mover.Wait.
+// Wait is a reason why the mover cannot take a step or reach a goal yet. Its fields
+// have the same meaning as those of mover.Wait.
 type Wait struct {
 	Instance    model.InstanceID
 	Unconfirmed []string
