front: say which part of a body BodyReadTimeout limits and who reports it

Also says when rewind may be called, and that receive delivers a short response only once it was read completely.

--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -30,7 +30,8 @@
 }
 
 // readPayload reads the body until it ends or buf is full. A request whose caller
-// sends too slowly is refused after BodyReadTimeout, before it holds a slot.
+// takes longer than BodyReadTimeout for this part is refused before it holds a slot.
+// The rest of a larger body is read while the request is sent to an upstream.
 func readPayload(cfg *Settings, w http.ResponseWriter, r *http.Request, buf []byte) (payload, *Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return payload{whole: true}, nil
@@ -45,8 +46,12 @@
 	case errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && (r.ContentLength < 0 || int64(n) == r.ContentLength)):
 		p.whole, p.size = true, int64(n)
 	case err != nil:
+		// This case also reports a body that is too slow: at the time limit the timer
+		// makes the blocked read fail.
 		return p, newError("body", KindBody, http.StatusBadRequest, "the body could not be read: %w", err)
 	case !inTime:
+		// The buffer became full just when the time limit passed. The connection has
+		// an expired read deadline, so the rest could not be read.
 		return p, newError("body", KindBody, http.StatusBadRequest, "the body took longer than %d ms", cfg.BodyReadTimeout)
 	case int64(n) == r.ContentLength:
 		p.whole = true
@@ -119,8 +124,9 @@
 	return b.streamed
 }
 
-// rewind returns a body that starts again at the buffered part. It is a new
-// attemptBody, because net/http may still read the previous one.
+// rewind returns a body that starts again. head must be the whole body, because
+// what is read from rest cannot be read again. The result is a new attemptBody,
+// because net/http may still read the previous one.
 func (b *attemptBody) rewind(head []byte) *attemptBody {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -55,8 +55,8 @@
 	return f.receive(x, resp, res, body, releaseGrant, mayRetry)
 }
 
-// receive reads the response and delivers it to the caller: at once if its body
-// is smaller than the buffer, streamed otherwise.
+// receive reads the response. It delivers a response whose body is smaller than
+// the buffer once it was read completely, and streams any other.
 func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *attemptBody, releaseGrant func(entry.Outcome), mayRetry bool) attemptResult {
 	buf := f.getBuffer(resp.ContentLength)
 	defer f.putBuffer(buf)
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -104,8 +104,8 @@
 	// request.
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
-	// BodyReadTimeout bounds the reading of the buffered part of a request
-	// body.
+	// BodyReadTimeout bounds the reading of the part of a request body that is
+	// buffered: the first BufferBytes bytes.
 	BodyReadTimeout clock.Millis
 	// MaxAttempts bounds the attempts to send one request, including the
 	// first.
