uplink: rename classifyFailure to handleFailure

It also counts the failure and closes connections. Client.Close says that it drops the pool.

Client.Close keeps its name: lender.Connections of another package requires it.

--- a/io/trans/uplink/body.go
+++ b/io/trans/uplink/body.go
@@ -35,7 +35,7 @@
 	b.released = true
 	b.conn.blockWrites()
 	_ = b.conn.Close()
-	kind := b.client.classifyFailure(b.ctx, b.conn.pool, b.started, true)
+	kind := b.client.handleFailure(b.ctx, b.conn.pool, b.started, true)
 	if kind == KindClosed {
 		kind = KindTruncated
 	}
--- a/io/trans/uplink/client.go
+++ b/io/trans/uplink/client.go
@@ -92,7 +92,7 @@
 		res.BytesWritten = c.blockWrites()
 		_ = c.Close()
 		res.NotRun = !res.BytesWritten
-		res.Kind = cl.classifyFailure(ctx, p, started, res.BytesWritten)
+		res.Kind = cl.handleFailure(ctx, p, started, res.BytesWritten)
 		return nil, res, newError("request", res.Kind, "%w", err)
 	}
 	res.BytesWritten = true
@@ -114,12 +114,12 @@
 	return resp, res, nil
 }
 
-// classifyFailure returns the kind of a failed request. If the request was
-// written but had no complete response at its deadline, classifyFailure also
-// closes the connections that have been idle since before the request started,
-// because a middlebox that dropped its state for one connection has often
-// dropped it for all.
-func (cl *Client) classifyFailure(ctx context.Context, p *pool, started clock.Millis, written bool) Kind {
+// handleFailure returns the kind of a failed request. If the request was written
+// but had no complete response at its deadline, handleFailure also counts it and
+// closes the connections that have been idle since before it started, because a
+// middlebox that dropped its state for one connection has often dropped it for
+// all.
+func (cl *Client) handleFailure(ctx context.Context, p *pool, started clock.Millis, written bool) Kind {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		if written {
@@ -193,8 +193,9 @@
 	return out
 }
 
-// Close closes the idle connections to an upstream. Connections that carry a
-// request stay open. Close returns true if no connection is left open.
+// Close closes the idle connections to the named upstream; connections that carry
+// a request stay open. It returns true, and drops the upstream's pool, if no
+// connection is left open.
 func (cl *Client) Close(name string) bool {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -57,7 +57,7 @@
 	// settling is the number of connections with settling set.
 	settling int
 	// lastRequest is the start of the last request. dropped is true once the
-	// client has removed the pool.
+	// client has removed the pool; acquire refuses all requests then.
 	lastRequest clock.Millis
 	dropped     bool
 	// changed is signalled when a connection becomes idle or is closed.
@@ -295,8 +295,8 @@
 	c.markResponseRead()
 }
 
-// closeIdle closes the idle connections that received no response after the
-// given time, and returns their number.
+// closeIdle closes the idle connections whose last response came at the time since
+// or earlier, and returns their number.
 func (p *pool) closeIdle(since clock.Millis) int {
 	p.mu.Lock()
 	var old []*conn
--- a/io/trans/uplink/types.go
+++ b/io/trans/uplink/types.go
@@ -31,8 +31,8 @@
 	// KindClosed: no valid response header arrived on the connection, or the
 	// WriteDeadline had passed.
 	KindClosed
-	// KindTimeout: the deadline passed after a connection was acquired and
-	// before the response was complete.
+	// KindTimeout: the deadline of the request passed after a connection was
+	// acquired and before the response was complete.
 	KindTimeout
 	// KindCancelled: the caller cancelled the request, or its deadline passed
 	// before a connection was acquired.
