--- a/io/trans/front/bench_test.go
+++ b/io/trans/front/bench_test.go
@@ -97,7 +97,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = w.Write(answer)
 	})
-	g := newTestEntry(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, upstreamAddress)
+	te := newTestEntry(b, 1000, []model.Contract{contract("acme", 1000, 1000, 10)}, upstreamAddress)
 	target := &url.URL{Scheme: "http", Host: upstreamAddress}
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
@@ -111,7 +111,7 @@
 	}{
 		{name: "direct", address: upstreamAddress},
 		{name: "proxy", address: proxyServer.Listener.Addr().String()},
-		{name: "front", address: g.url[len("http://"):]},
+		{name: "front", address: te.url[len("http://"):]},
 	}
 	for i := range systems {
 		s := &systems[i]
@@ -151,9 +151,9 @@
 	var callersBySide [2][]*caller
 	var rates [2][]float64
 	for i, lease := range []clock.Millis{0, 2 * clock.Second} {
-		g := newLendingTestEntry(b, lease, callers/2, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
+		te := newLendingTestEntry(b, lease, callers/2, []model.Contract{contract("acme", 1000, 1000, 10)}, up)
 		for range callers {
-			callersBySide[i] = append(callersBySide[i], dialCaller(b, g.url[len("http://"):], HeaderCustomer+": acme\r\n"))
+			callersBySide[i] = append(callersBySide[i], dialCaller(b, te.url[len("http://"):], HeaderCustomer+": acme\r\n"))
 		}
 		burst(b, callersBySide[i], 5000)
 	}
--- a/io/trans/front/front_test.go
+++ b/io/trans/front/front_test.go
@@ -19,9 +19,9 @@
 	return strings.NewReader(s)
 }
 
-func (g *testEntry) do(t testing.TB, r *http.Request) (*http.Response, string) {
+func (te *testEntry) do(t testing.TB, r *http.Request) (*http.Response, string) {
 	t.Helper()
-	resp, err := g.client.Do(r)
+	resp, err := te.client.Do(r)
 	assert.NilError(t, err)
 	b, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
@@ -45,16 +45,16 @@
 // TestRequestAndResponsePassThrough guards against a front end that alters
 // requests or responses, or opens a connection for each request.
 func TestRequestAndResponsePassThrough(t *testing.T) {
-	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 10)}, upstream(t, echo))
+	te := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 10)}, upstream(t, echo))
 	for range 3 {
-		resp, body := g.do(t, g.request(t, "POST", "acme", "hello"))
+		resp, body := te.do(t, te.request(t, "POST", "acme", "hello"))
 		assert.Equal(t, resp.StatusCode, 200)
 		assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeRan)
 		assert.Equal(t, body, "POST /svc/x hello")
 	}
 	big := strings.Repeat("x", 300<<10)
-	resp, body := g.do(t, g.request(t, "PUT", "acme", big))
+	resp, body := te.do(t, te.request(t, "PUT", "acme", big))
 	assert.Equal(t, resp.StatusCode, 200)
 	assert.Assert(t, body == "PUT /svc/x "+big)
-	assert.Equal(t, g.upstreams.Counts().Opened, int64(1))
+	assert.Equal(t, te.upstreams.Counts().Opened, int64(1))
 }
--- a/io/trans/front/helpers_test.go
+++ b/io/trans/front/helpers_test.go
@@ -82,28 +82,28 @@
 	t.Helper()
 	clk := clock.Real()
 	self := model.Member{Name: "e1", Zone: "z1"}
-	g := &testEntry{claims: &memoryClaimer{outcomes: map[model.ClaimKey]model.ClaimOutcome{}}}
-	g.dispatcher = entry.New(entry.Settings{
+	te := &testEntry{claims: &memoryClaimer{outcomes: map[model.ClaimKey]model.ClaimOutcome{}}}
+	te.dispatcher = entry.New(entry.Settings{
 		Self: self.Name, Zone: self.Zone, Entries: []model.Member{self},
 		Lending:      lend.Settings{Self: self.Name, Zone: self.Zone, Lease: lease, MaxRequestTime: clock.Minute, ReservePercent: 25},
 		LoanMessages: ring.New[lend.Message](16),
 	}, clk, admit.WeightedFair{}, route.LeastLoaded{}, lend.Idle{})
-	g.upstreams = uplink.New(uplink.Defaults(), clk)
-	g.handler = New(Defaults(self.Name), clk, g.dispatcher, g.claims, g.upstreams)
+	te.upstreams = uplink.New(uplink.Defaults(), clk)
+	te.handler = New(Defaults(self.Name), clk, te.dispatcher, te.claims, te.upstreams)
 	ended := make(chan struct{}, 2)
-	go func() { _ = g.dispatcher.Run(); ended <- struct{}{} }()
-	go func() { _ = g.upstreams.Run(); ended <- struct{}{} }()
+	go func() { _ = te.dispatcher.Run(); ended <- struct{}{} }()
+	go func() { _ = te.upstreams.Run(); ended <- struct{}{} }()
 	d := model.Delta{To: 1, Full: true, Contracts: contracts}
 	for i := range addresses {
 		d.Instances = append(d.Instances, model.Instance{ID: instanceID(i), Zone: self.Zone, Pool: "svc", Slots: slots, Connections: 64, Version: 1})
 	}
-	assert.NilError(t, g.dispatcher.ApplyDelta(d))
+	assert.NilError(t, te.dispatcher.ApplyDelta(d))
 	for i, a := range addresses {
-		g.announce(t, i, a, slots)
+		te.announce(t, i, a, slots)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	srv := NewServer(g.handler, g.handler.cfg.MaxHeaderBytes)
+	srv := NewServer(te.handler, te.handler.cfg.MaxHeaderBytes)
 	go func() { _ = srv.Serve(l) }()
 	// Announcements expire unless they are repeated.
 	renew := time.NewTicker(time.Second)
@@ -113,26 +113,26 @@
 			select {
 			case <-renew.C:
 				for i, a := range addresses {
-					_ = g.dispatcher.Announce(announcement(i, a, slots))
+					_ = te.dispatcher.Announce(announcement(i, a, slots))
 				}
 			case <-stop:
 				return
 			}
 		}
 	}()
-	g.url = "http://" + l.Addr().String()
-	g.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	te.url = "http://" + l.Addr().String()
+	te.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
 	t.Cleanup(func() {
 		renew.Stop()
 		close(stop)
-		g.client.CloseIdleConnections()
+		te.client.CloseIdleConnections()
 		_ = srv.Shutdown(5 * clock.Second)
-		g.upstreams.Stop()
-		g.dispatcher.Stop()
+		te.upstreams.Stop()
+		te.dispatcher.Stop()
 		<-ended
 		<-ended
 	})
-	return g
+	return te
 }
 
 func instanceID(i int) model.InstanceID { return model.InstanceID("i" + string(rune('a'+i))) }
@@ -144,15 +144,15 @@
 	}
 }
 
-func (g *testEntry) announce(t testing.TB, i int, address string, slots int) {
+func (te *testEntry) announce(t testing.TB, i int, address string, slots int) {
 	t.Helper()
-	assert.NilError(t, g.dispatcher.Announce(announcement(i, address, slots)))
+	assert.NilError(t, te.dispatcher.Announce(announcement(i, address, slots)))
 }
 
 // request builds a request of a customer. header holds names and values in turn.
-func (g *testEntry) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
+func (te *testEntry) request(t testing.TB, method, customer string, body string, header ...string) *http.Request {
 	t.Helper()
-	r, err := http.NewRequest(method, g.url+"/svc/x", reader(body))
+	r, err := http.NewRequest(method, te.url+"/svc/x", reader(body))
 	assert.NilError(t, err)
 	r.Header.Set(HeaderCustomer, customer)
 	for i := 0; i+1 < len(header); i += 2 {
--- a/io/trans/front/load_test.go
+++ b/io/trans/front/load_test.go
@@ -60,14 +60,14 @@
 // offerLoad sends requests at the given rate per second for the duration d, with
 // the given timeout in milliseconds. Each connection sends four requests per
 // second, so the rate is sustained only if requests take at most 250 ms.
-func offerLoad(b testing.TB, g *testEntry, customer string, rate float64, timeout string, d time.Duration) *customerResult {
+func offerLoad(b testing.TB, te *testEntry, customer string, rate float64, timeout string, d time.Duration) *customerResult {
 	n := int(rate/4) + 1
 	var mu sync.Mutex
 	r := &customerResult{}
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	for k := range n {
-		c := dialCaller(b, g.url[len("http://"):], HeaderCustomer+": "+customer+"\r\n"+HeaderTimeout+": "+timeout+"\r\n")
+		c := dialCaller(b, te.url[len("http://"):], HeaderCustomer+": "+customer+"\r\n"+HeaderTimeout+": "+timeout+"\r\n")
 		wg.Go(func() {
 			interval := time.Duration(float64(n) / rate * 1e9)
 			time.Sleep(interval * time.Duration(k) / time.Duration(n))
@@ -126,19 +126,19 @@
 	}{{"1x", 1}, {"2x", 2}, {"5x", 5}} {
 		b.Run(load.name, func(b *testing.B) {
 			l := &loadUpstreams{}
-			g := newTestEntry(b, slotsPerUpstream, []model.Contract{contract("acme", 1000, 400, 10)}, l.start(b)...)
-			offerLoad(b, g, "acme", capacityPerSecond, "200", time.Second)
+			te := newTestEntry(b, slotsPerUpstream, []model.Contract{contract("acme", 1000, 400, 10)}, l.start(b)...)
+			offerLoad(b, te, "acme", capacityPerSecond, "200", time.Second)
 			b.ResetTimer()
 			for range b.N {
 				l.arrived.Store(0)
-				r := offerLoad(b, g, "acme", capacityPerSecond*load.by, "200", 3*time.Second)
+				r := offerLoad(b, te, "acme", capacityPerSecond*load.by, "200", 3*time.Second)
 				b.ReportMetric(float64(r.inTime)/(capacityPerSecond*3), "goodput/capacity")
 				b.ReportMetric(float64(r.sent)/(capacityPerSecond*3), "offered/capacity")
 				b.ReportMetric(float64(r.other), "unknown")
 				// The requests that arrived at an upstream although their outcome
 				// is not-run.
 				b.ReportMetric(float64(l.arrived.Load()-int64(r.ran+r.other)), "untrue")
-				b.ReportMetric(float64(g.dispatcher.Status().Counts.Ejections), "ejections")
+				b.ReportMetric(float64(te.dispatcher.Status().Counts.Ejections), "ejections")
 				b.ReportMetric(float64(l.overSlots.Load()), "over-slots")
 				b.ReportMetric(quantile(r.refusals, 0.5), "refusal-p50-ms")
 				b.ReportMetric(quantile(r.refusals, 0.99), "refusal-p99-ms")
@@ -153,14 +153,14 @@
 func BenchmarkFlood(b *testing.B) {
 	l := &loadUpstreams{}
 	contracts := []model.Contract{contract("calm", 100, 400, 10), contract("flood", 100, 400, 10)}
-	g := newTestEntry(b, slotsPerUpstream, contracts, l.start(b)...)
-	offerLoad(b, g, "calm", capacityPerSecond/2, "200", time.Second)
+	te := newTestEntry(b, slotsPerUpstream, contracts, l.start(b)...)
+	offerLoad(b, te, "calm", capacityPerSecond/2, "200", time.Second)
 	b.ResetTimer()
 	for range b.N {
 		var calm, flood *customerResult
 		var wg sync.WaitGroup
-		wg.Go(func() { calm = offerLoad(b, g, "calm", capacityPerSecond*0.45, "200", 3*time.Second) })
-		wg.Go(func() { flood = offerLoad(b, g, "flood", capacityPerSecond*5, "200", 3*time.Second) })
+		wg.Go(func() { calm = offerLoad(b, te, "calm", capacityPerSecond*0.45, "200", 3*time.Second) })
+		wg.Go(func() { flood = offerLoad(b, te, "flood", capacityPerSecond*5, "200", 3*time.Second) })
 		wg.Wait()
 		b.ReportMetric(float64(calm.ran)/float64(calm.sent), "calm-ran")
 		b.ReportMetric(float64(calm.inTime+flood.inTime)/(capacityPerSecond*3), "goodput/capacity")
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -55,22 +55,22 @@
 			}
 			writeResponse(conn, c.response)
 		})
-		g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+		te := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 		for _, key := range []string{"", "k1"} {
-			r := g.request(t, "POST", "acme", "x", "X-Mark", "m"+key, HeaderTimeout, "5000")
+			r := te.request(t, "POST", "acme", "x", "X-Mark", "m"+key, HeaderTimeout, "5000")
 			if c.response == "none" {
 				r.Header.Set(HeaderTimeout, "100")
 			}
 			if key != "" {
 				r.Header.Set(HeaderIdempotencyKey, key)
 			}
-			resp, _ := g.do(t, r)
+			resp, _ := te.do(t, r)
 			assert.Equal(t, resp.StatusCode, c.status, c.name)
 			assert.Equal(t, resp.Header.Get(HeaderOutcome), c.outcome, c.name)
 			assert.Equal(t, u.count("m"+key), 1, c.name)
 			assert.Assert(t, resp.Header.Get(HeaderRequestID) != "", c.name)
 		}
-		recorded, found := g.claims.get("k1")
+		recorded, found := te.claims.get("k1")
 		switch c.outcome {
 		case OutcomeRan:
 			assert.Assert(t, recorded.State == model.ClaimDone && recorded.Status == c.status, c.name)
@@ -80,7 +80,7 @@
 			assert.Equal(t, recorded.State, model.ClaimUnknown, c.name)
 		}
 		close(hang)
-		g.waitIdle(t)
+		te.waitIdle(t)
 	}
 }
 
@@ -93,11 +93,11 @@
 
 // waitIdle waits until no request holds a slot, and returns the status of the
 // dispatcher at that time.
-func (g *testEntry) waitIdle(t testing.TB) entry.Status {
+func (te *testEntry) waitIdle(t testing.TB) entry.Status {
 	t.Helper()
 	var s entry.Status
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if s = g.dispatcher.Status(); s.Counts.Completed == s.Counts.Grants {
+		if s = te.dispatcher.Status(); s.Counts.Completed == s.Counts.Grants {
 			return poll.Success()
 		}
 		return poll.Continue("%d of %d grants were returned", s.Counts.Completed, s.Counts.Grants)
@@ -111,7 +111,7 @@
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
-	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	te := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	for _, c := range []struct {
 		name   string
 		change func(r *http.Request)
@@ -131,9 +131,9 @@
 		{"large header", func(r *http.Request) { r.Header.Set("X-Large", strings.Repeat("h", 33<<10)) }, 431},
 		{"large body", func(r *http.Request) { r.ContentLength, r.Body = 65<<20, io.NopCloser(bytes.NewReader(nil)) }, 413},
 	} {
-		r := g.request(t, "POST", "acme", "", "X-Mark", "m")
+		r := te.request(t, "POST", "acme", "", "X-Mark", "m")
 		c.change(r)
-		resp, err := g.client.Do(r)
+		resp, err := te.client.Do(r)
 		if err != nil && c.name == "large body" {
 			// The server may close the connection before the client has written
 			// the body.
@@ -145,9 +145,9 @@
 		assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun, c.name)
 		assert.Assert(t, resp.Header.Get(HeaderReason) != "", c.name)
 	}
-	r := g.request(t, "OPTIONS", "acme", "")
+	r := te.request(t, "OPTIONS", "acme", "")
 	r.URL.Path, r.URL.Opaque = "", "*"
-	resp, _ := g.do(t, r)
+	resp, _ := te.do(t, r)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun)
 	assert.Equal(t, u.count("m"), 0)
 }
@@ -158,14 +158,14 @@
 	u := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
-	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	te := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
 	for _, head := range []string{
 		"Content-Length: 3\r\nContent-Length: 4\r\n",
 		"Content-Length: x\r\n",
 		"Transfer-Encoding: gzip, chunked\r\n",
 		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
 	} {
-		c, err := net.Dial("tcp", g.url[len("http://"):])
+		c, err := net.Dial("tcp", te.url[len("http://"):])
 		assert.NilError(t, err)
 		writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: m\r\nCamphorridge-Customer: acme\r\n"+head+"\r\nabc")
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -175,7 +175,7 @@
 	}
 	// If both are present, Transfer-Encoding overrides Content-Length (RFC 9112,
 	// section 6.3), and Content-Length is not forwarded.
-	c, err := net.Dial("tcp", g.url[len("http://"):])
+	c, err := net.Dial("tcp", te.url[len("http://"):])
 	assert.NilError(t, err)
 	writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: both\r\nCamphorridge-Customer: acme\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
 	_, err = http.ReadResponse(bufio.NewReader(c), nil)
@@ -195,19 +195,19 @@
 		}
 		writeResponse(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", largeBodyBytes, cut))
 	})
-	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
-	_, got := g.do(t, g.request(t, "GET", "acme", ""))
+	te := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, u.address)
+	_, got := te.do(t, te.request(t, "GET", "acme", ""))
 	assert.Assert(t, got == body)
-	r := g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1")
+	r := te.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1")
 	r.URL.Path = "/svc/cut"
-	resp, err := g.client.Do(r)
+	resp, err := te.client.Do(r)
 	assert.NilError(t, err)
 	n, err := io.Copy(io.Discard, resp.Body)
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes, %v", n, err)
-	g.waitIdle(t)
-	assert.Equal(t, g.handler.Counts().Aborted, int64(1))
+	te.waitIdle(t)
+	assert.Equal(t, te.handler.Counts().Aborted, int64(1))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if o, _ := g.claims.get("k1"); o.State == model.ClaimUnknown {
+		if o, _ := te.claims.get("k1"); o.State == model.ClaimUnknown {
 			return poll.Success()
 		}
 		return poll.Continue("the claim has no outcome yet")
@@ -218,19 +218,19 @@
 // idempotency key, and against a run without a successful claim. GET requests
 // need no claim.
 func TestDuplicates(t *testing.T) {
-	g := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
-	first, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
+	te := newTestEntry(t, 8, []model.Contract{contract("acme", 8, 8, 0)}, upstream(t, echo))
+	first, _ := te.do(t, te.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, first.Header.Get(HeaderOutcome), OutcomeRan)
-	second, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
+	second, _ := te.do(t, te.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, second.StatusCode, 409)
 	assert.Equal(t, second.Header.Get(HeaderOutcome), OutcomeDuplicate)
 	assert.Equal(t, second.Header.Get(HeaderFirstOutcome), "done 200")
-	get, _ := g.do(t, g.request(t, "GET", "acme", "", HeaderIdempotencyKey, "k1"))
+	get, _ := te.do(t, te.request(t, "GET", "acme", "", HeaderIdempotencyKey, "k1"))
 	assert.Equal(t, get.Header.Get(HeaderOutcome), OutcomeRan)
-	g.claims.mu.Lock()
-	g.claims.err = errors.New("no quorum")
-	g.claims.mu.Unlock()
-	unclaimed, _ := g.do(t, g.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k2"))
+	te.claims.mu.Lock()
+	te.claims.err = errors.New("no quorum")
+	te.claims.mu.Unlock()
+	unclaimed, _ := te.do(t, te.request(t, "POST", "acme", "x", HeaderIdempotencyKey, "k2"))
 	assert.Equal(t, unclaimed.StatusCode, 503)
 	assert.Equal(t, unclaimed.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
@@ -242,11 +242,11 @@
 	busy := newScriptedUpstream(t, func(c net.Conn, _ *http.Request) {
 		writeResponse(c, "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nCamphorridge-Outcome: not-run\r\n\r\nbusy")
 	})
-	g := newTestEntry(t, 8, []model.Contract{contract("acme", 64, 8, 50)}, busy.address, upstream(t, echo), "127.0.0.1:1")
+	te := newTestEntry(t, 8, []model.Contract{contract("acme", 64, 8, 50)}, busy.address, upstream(t, echo), "127.0.0.1:1")
 	big := strings.Repeat("b", 60<<10)
 	ran, refused := 0, 0
 	for range 40 {
-		resp, body := g.do(t, g.request(t, "POST", "acme", big))
+		resp, body := te.do(t, te.request(t, "POST", "acme", big))
 		switch resp.Header.Get(HeaderOutcome) {
 		case OutcomeRan:
 			ran++
@@ -256,9 +256,9 @@
 		}
 	}
 	assert.Equal(t, ran+refused, 40)
-	s := g.waitIdle(t)
+	s := te.waitIdle(t)
 	assert.Assert(t, s.Counts.Retries > 0 && s.Counts.Retries <= 21, "%d retries", s.Counts.Retries)
-	assert.Equal(t, g.handler.Counts().Retries >= s.Counts.Retries, true)
+	assert.Equal(t, te.handler.Counts().Retries >= s.Counts.Retries, true)
 }
 
 // TestDisconnectedCallerFreesSlot guards against a slot that is not released when
@@ -268,17 +268,17 @@
 	got, hang := make(chan struct{}, 1), make(chan struct{})
 	defer close(hang)
 	u := newScriptedUpstream(t, func(net.Conn, *http.Request) { got <- struct{}{}; <-hang })
-	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, u.address)
+	te := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, u.address)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	go func() {
-		_, err := g.client.Do(g.request(t, "POST", "acme", "x").WithContext(ctx))
+		_, err := te.client.Do(te.request(t, "POST", "acme", "x").WithContext(ctx))
 		ended <- err
 	}()
 	<-got
 	cancel()
 	assert.Assert(t, <-ended != nil)
-	s := g.waitIdle(t)
+	s := te.waitIdle(t)
 	assert.Equal(t, s.Customers[0].Running, 0)
 	assert.Equal(t, s.Upstreams[0].Score, 0.0)
 }
@@ -286,9 +286,9 @@
 // TestSlowBodyIsCutOff guards against callers that occupy a slot or a goroutine
 // for a long time by sending the body slowly.
 func TestSlowBodyIsCutOff(t *testing.T) {
-	g := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
-	g.handler.cfg.BodyReadTimeout = 50
-	c, err := net.Dial("tcp", g.url[len("http://"):])
+	te := newTestEntry(t, 1, []model.Contract{contract("acme", 1, 8, 0)}, upstream(t, echo))
+	te.handler.cfg.BodyReadTimeout = 50
+	c, err := net.Dial("tcp", te.url[len("http://"):])
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
 	writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nCamphorridge-Customer: acme\r\nContent-Length: 9\r\n\r\nabc")
@@ -296,7 +296,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 400)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), OutcomeNotRun)
-	assert.Equal(t, g.dispatcher.Status().Counts.Requests, int64(0))
+	assert.Equal(t, te.dispatcher.Status().Counts.Requests, int64(0))
 }
 
 // TestShutdownFinishesRequests guards against a shutdown that aborts requests
--- a/io/trans/front/overload_test.go
+++ b/io/trans/front/overload_test.go
@@ -27,15 +27,15 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		time.Sleep(5 * time.Millisecond)
 	}
-	g := newTestEntry(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
+	te := newTestEntry(t, 2, []model.Contract{contract("acme", 100, 60, 20)}, upstream(t, handler), upstream(t, handler))
 	outcomes := map[string]string{}
 	var wg sync.WaitGroup
 	for w := range 32 {
 		wg.Go(func() {
 			for k := range 60 {
 				mark := fmt.Sprint(w, ".", k)
-				r := g.request(t, "POST", "acme", "hello", "X-Mark", mark, HeaderTimeout, fmt.Sprint(1+(w*k)%60))
-				resp, err := g.client.Do(r)
+				r := te.request(t, "POST", "acme", "hello", "X-Mark", mark, HeaderTimeout, fmt.Sprint(1+(w*k)%60))
+				resp, err := te.client.Do(r)
 				if !assert.Check(t, err) {
 					return
 				}
@@ -48,7 +48,7 @@
 		})
 	}
 	wg.Wait()
-	g.waitIdle(t)
+	te.waitIdle(t)
 	mu.Lock()
 	defer mu.Unlock()
 	for mark, outcome := range outcomes {
