roles, admin: notReadyReason for what returns a reason; submitters, not callers

notReady and admin.Config.Ready read like a boolean and return the reason why the process is not ready. The clients of the submission service are submitters; callers are those of upstreams. The pinger's field submitter held the service.

Checks: build, vet, go test -short of both packages.

--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -38,8 +38,8 @@
 	// Labels are added to every metric.
 	Labels   []Label
 	Registry metrics.Registry
-	// Ready returns why the process is not ready, or "" if it is ready.
-	Ready func() string
+	// NotReadyReason returns why the process is not ready, or "" if it is ready.
+	NotReadyReason func() string
 	// Events returns the events with a sequence number above since, oldest first,
 	// and at most limit of them.
 	Events func(since uint64, limit int) []model.Event
@@ -129,7 +129,7 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if reason := s.cfg.Ready(); reason != "" {
+	if reason := s.cfg.NotReadyReason(); reason != "" {
 		writeText(w, http.StatusServiceUnavailable, "not ready: "+reason)
 		return
 	}
--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -92,9 +92,9 @@
 func TestPaths(t *testing.T) {
 	reason := "no table"
 	s, ran := start(t, admin.Config{
-		Ready:      func() string { return reason },
-		Events:     func(since uint64, _ int) []model.Event { return []model.Event{{Seq: since + 1, Kind: model.EventWait}} },
-		StopMillis: clock.Second,
+		NotReadyReason: func() string { return reason },
+		Events:         func(since uint64, _ int) []model.Event { return []model.Event{{Seq: since + 1, Kind: model.EventWait}} },
+		StopMillis:     clock.Second,
 	})
 	for _, c := range []struct {
 		method, path string
@@ -157,7 +157,7 @@
 	for name, bound := range map[string]clock.Millis{"within": clock.Minute, "beyond": 1} {
 		t.Run(name, func(t *testing.T) {
 			entered, leave := make(chan struct{}), make(chan struct{})
-			s, ran := start(t, admin.Config{StopMillis: bound, Ready: func() string {
+			s, ran := start(t, admin.Config{StopMillis: bound, NotReadyReason: func() string {
 				close(entered)
 				<-leave
 				return ""
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -212,14 +212,14 @@
 
 func (c *Control) adminConfig() admin.Config {
 	return admin.Config{
-		Address: c.cfg.Listen.Admin,
-		Labels:  []admin.Label{{Name: "process", Value: string(c.cfg.Name)}, {Name: "zone", Value: string(c.cfg.Zone)}},
-		Ready:   c.notReady, Events: c.recorder.Page, StopMillis: peerStopTimeout, Registry: c.newMetrics(),
+		Address:        c.cfg.Listen.Admin,
+		Labels:         []admin.Label{{Name: "process", Value: string(c.cfg.Name)}, {Name: "zone", Value: string(c.cfg.Zone)}},
+		NotReadyReason: c.notReadyReason, Events: c.recorder.Page, StopMillis: peerStopTimeout, Registry: c.newMetrics(),
 	}
 }
 
-// notReady returns why the process is not ready, or "" if it is ready.
-func (c *Control) notReady() string {
+// notReadyReason returns why the process is not ready, or "" if it is ready.
+func (c *Control) notReadyReason() string {
 	if c.member.Status().Leader.ID == 0 {
 		return "no leader is known"
 	}
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -236,8 +236,8 @@
 	})
 }
 
-// closeWhenLeaving closes the connections of callers after their next response once
-// the process is stopping, so that they connect to other processes.
+// closeWhenLeaving closes each connection of a caller after its next response once
+// the process is stopping, so that callers connect to other processes.
 func (e *Entry) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.leaving.Load() {
@@ -266,9 +266,9 @@
 	}}
 }
 
-// notReady returns why the load balancer should send no requests to the process, or
-// "" if the process is ready.
-func (e *Entry) notReady() string {
+// notReadyReason returns why the load balancer should send no requests to the
+// process, or "" if the process is ready.
+func (e *Entry) notReadyReason() string {
 	switch {
 	case e.leaving.Load():
 		return "the process is stopping"
@@ -280,9 +280,9 @@
 
 func (e *Entry) adminConfig() admin.Config {
 	return admin.Config{
-		Address: e.cfg.Listen.Admin,
-		Labels:  []admin.Label{{Name: "process", Value: string(e.cfg.Name)}, {Name: "zone", Value: string(e.cfg.Zone)}},
-		Ready:   e.notReady, Events: e.recorder.Page, StopMillis: peerStopTimeout, Registry: e.newMetrics(),
+		Address:        e.cfg.Listen.Admin,
+		Labels:         []admin.Label{{Name: "process", Value: string(e.cfg.Name)}, {Name: "zone", Value: string(e.cfg.Zone)}},
+		NotReadyReason: e.notReadyReason, Events: e.recorder.Page, StopMillis: peerStopTimeout, Registry: e.newMetrics(),
 	}
 }
 
--- a/io/trans/roles/reload.go
+++ b/io/trans/roles/reload.go
@@ -13,7 +13,7 @@
 )
 
 // reloadInterval is the interval at which the settings are read even without a
-// signal, because not every change is followed by one.
+// signal, because not every change of the settings is followed by one.
 const reloadInterval = 5 * clock.Second
 
 // reloader is the component that applies changes of the list of control processes
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -29,7 +29,7 @@
 	maxPingAge   = 1800 * clock.Millis(1)
 	// leaderTimeout is the timeout of CallRunner, and the time after which a call
 	// that was certainly not executed is refused. An election takes one to two
-	// seconds, and a caller that is refused early can still retry in time.
+	// seconds, and a submitter that is refused early can still retry in time.
 	leaderTimeout = 900 * clock.Millis(1)
 	// retryDelay is the delay before a call is passed to CallRunner again.
 	retryDelay = 100 * clock.Millis(1)
@@ -96,9 +96,9 @@
 
 // Call forwards a call to the leader. The kind of the answer says whether the call
 // may have been executed. A call that may have been executed is sent again until
-// ctx is done: calls are idempotent, and only a definite answer helps the caller. A
-// call that was certainly not executed is refused after leaderTimeout, so that the
-// caller can retry in time.
+// ctx is done: calls are idempotent, and only a definite answer helps the submitter.
+// A call that was certainly not executed is refused after leaderTimeout, so that the
+// submitter can retry in time.
 func (s SubmitService) Call(ctx context.Context, c runner.Call) runner.Answer {
 	began := s.clock.Now()
 	a := s.call(ctx, c, began+leaderTimeout)
@@ -146,14 +146,14 @@
 	return runner.Answer{Kind: runner.AnswerUnavailable, RetryAfter: pingInterval, Reason: err.Error()}
 }
 
-// Ready reports whether the process accepts new callers, that is, whether it has
+// Ready reports whether the process is ready for calls, that is, whether it has
 // reached the leader within maxPingAge and is not stopping.
 func (s SubmitService) Ready() bool {
 	return !s.leaving.Load() && s.clock.Now()-clock.Millis(s.lastPing.Load()) < maxPingAge
 }
 
-// notReady returns why the process accepts no new callers, or "" if it does.
-func (s SubmitService) notReady() string {
+// notReadyReason returns why the process is not ready, or "" if it is ready.
+func (s SubmitService) notReadyReason() string {
 	if s.Ready() {
 		return ""
 	}
@@ -181,7 +181,7 @@
 	}
 	var g run.Group
 	addSignals(&g, lg)
-	callers, err := listen("submitters", o.FrontAddress)
+	submitters, err := listen("submitters", o.FrontAddress)
 	if err != nil {
 		return err
 	}
@@ -191,13 +191,13 @@
 	}
 	adm, err := admin.New(admin.Config{
 		Address: o.AdminAddress, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
-		Ready: s.notReady, Events: recorder.Page, StopMillis: peerStopTimeout, Registry: s.newMetrics(client, async.Dropped),
+		NotReadyReason: s.notReadyReason, Events: recorder.Page, StopMillis: peerStopTimeout, Registry: s.newMetrics(client, async.Dropped),
 	})
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
-	s.addCallers(&g, callers, o)
-	addComponent(&g, &pinger{submitter: s, done: make(chan struct{})})
+	s.addSubmitters(&g, submitters, o)
+	addComponent(&g, &pinger{service: s, done: make(chan struct{})})
 	addServer(&g, ready, o.ReadyHandler(s), clock.Second)
 	addComponent(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
 	addComponent(&g, adm)
@@ -209,10 +209,10 @@
 	return err
 }
 
-// addCallers adds the server for submitters. It stops in three steps: the readiness
+// addSubmitters adds the server for submitters. It stops in three steps: the readiness
 // check fails for submitUnreadyTime, the listener closes, and open requests finish
 // within submitDrainTimeout.
-func (s SubmitService) addCallers(g *run.Group, l net.Listener, o SubmitOptions) {
+func (s SubmitService) addSubmitters(g *run.Group, l net.Listener, o SubmitOptions) {
 	h := o.Handler(s)
 	server := front.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Leaving() {
@@ -232,8 +232,8 @@
 // pinger is the component that checks whether the process can reach the leader. It
 // waits for pingInterval between two checks.
 type pinger struct {
-	submitter SubmitService
-	done      chan struct{}
+	service SubmitService
+	done    chan struct{}
 }
 
 // Run checks until Stop is called.
@@ -243,17 +243,17 @@
 	wasReady := false
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
-		a, err := p.submitter.leader.CallRunner(ctx, runner.Call{Kind: runner.CallPing})
+		a, err := p.service.leader.CallRunner(ctx, runner.Call{Kind: runner.CallPing})
 		cancel()
 		if err == nil && a.Kind == runner.AnswerDone {
-			p.submitter.lastPing.Store(int64(p.submitter.clock.Now()))
+			p.service.lastPing.Store(int64(p.service.clock.Now()))
 		}
-		if ready := p.submitter.Ready(); ready != wasReady {
-			p.submitter.Log.Info("readiness-changed", "ready", ready, "err", err, "reason", a.Reason)
+		if ready := p.service.Ready(); ready != wasReady {
+			p.service.Log.Info("readiness-changed", "ready", ready, "err", err, "reason", a.Reason)
 			wasReady = ready
 		}
 		select {
-		case <-p.submitter.clock.After(pingInterval):
+		case <-p.service.clock.After(pingInterval):
 		case <-p.done:
 			return nil
 		}
