Reword what remained to be read twice in peers, conf, codec, cmds and report

The operating system picks a free port, not the system (the product). The test of undefined calls also covers kinds that are defined but not sent. The client of the Timeline service is called events: it serves one event log. The help of status names the version of the table; that of measures names idle instances. checkRange says that its times are in ms: the names of the fields stay, so the errors have no unit of their own.

Checks: build, vet.

--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -45,7 +45,8 @@
 }
 
 // TestUndefinedCallValuesAreRejected checks that kinds and statuses that this
-// release does not define are rejected and not taken for other values.
+// release does not define, and kinds of call that are not sent between processes,
+// are rejected and not taken for other values.
 func TestUndefinedCallValuesAreRejected(t *testing.T) {
 	_, err := CallFromWire(&wirepb.WorkCall{Kind: int32(runner.CallList) + 1})
 	assert.ErrorContains(t, err, "kind")
--- a/io/proto/codec/loan.go
+++ b/io/proto/codec/loan.go
@@ -126,7 +126,8 @@
 func loanIDToWire(id lend.ID) uint64   { return uint64(id) }
 func loanIDFromWire(id uint64) lend.ID { return lend.ID(id) }
 
-// checkRange returns an error if n is below lo or above hi.
+// checkRange returns an error if n is below lo or above hi. Times are in ms, in the
+// error too.
 func checkRange(op, field string, n, lo, hi int64) error {
 	if n < lo || n > hi {
 		return &Error{Op: op, Kind: KindRange, Err: fmt.Errorf("%s is %d; allowed: %d to %d", field, n, lo, hi)}
--- a/io/proto/conf/check.go
+++ b/io/proto/conf/check.go
@@ -121,7 +121,7 @@
 }
 
 // checkListen checks that no two listeners have the same address. Addresses with port
-// 0 are exempt, because the system picks a free port for each.
+// 0 are exempt, because the operating system picks a free port for each.
 func (d *decoder[T]) checkListen(l Listen) {
 	keyByAddress := map[string]string{}
 	for _, a := range [][2]string{{"callers", l.Callers}, {"upstreams", l.Upstreams}, {"peers", l.Peers}, {"admin", l.Admin}} {
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -6,7 +6,7 @@
 )
 
 // Listen holds the addresses that a process listens on, as ip:port. With port 0
-// the system picks a free port.
+// the operating system picks a free port.
 type Listen struct {
 	// Callers is the address for the requests of callers, Upstreams that for the
 	// announcements of upstreams. Both are empty for a control process.
--- a/io/proto/report/measures.go
+++ b/io/proto/report/measures.go
@@ -40,6 +40,8 @@
 			incomplete.add(r.Version, processNames(r.Missing))
 		}
 	}
+	// An entry process that has applied the last change has applied the earlier ones
+	// too, so the list is left out if no process lacks the last one.
 	if len(m.Rollouts) > 0 && m.Rollouts[len(m.Rollouts)-1].Missing != nil {
 		writeSection(&b, "Contract changes not yet applied by all entry processes", incomplete)
 	}
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -209,8 +209,8 @@
 }
 
 func attachReports(add addFunc, o *options) {
-	status := add(nil, "status", "show which process runs which version, and what the control group waits for", showStatus)
-	measures := add(nil, "measures", "show roll-out times, moves and the idle buffer", showMeasures)
+	status := add(nil, "status", "show which version of the table each entry process uses, and what the control group waits for", showStatus)
+	measures := add(nil, "measures", "show roll-out times, moves and idle instances", showMeasures)
 	instances := add(nil, "instances", "list the instances", listInstances)
 	explain := add(nil, "explain", "say what happened to a customer, an instance, a request or a job, and why", explain)
 	explain.AddPositionalValue(&o.kind, "kind", 1, true, "customer, instance, request or job")
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -47,12 +47,13 @@
 	remotes map[string]remote
 }
 
-// remote holds the Twirp clients for one address.
+// remote holds the Twirp clients for one address. events is the client of the
+// Timeline service, which serves the event log of one process.
 type remote struct {
 	control   wirepb.Control
 	neighbour wirepb.Neighbour
 	consensus wirepb.Consensus
-	timeline  wirepb.Timeline
+	events    wirepb.Timeline
 	work      wirepb.Work
 }
 
@@ -86,7 +87,7 @@
 			control:   wirepb.NewControlProtobufClient(base, c.http),
 			neighbour: wirepb.NewNeighbourProtobufClient(base, c.http),
 			consensus: wirepb.NewConsensusProtobufClient(base, c.http),
-			timeline:  wirepb.NewTimelineProtobufClient(base, c.http),
+			events:    wirepb.NewTimelineProtobufClient(base, c.http),
 			work:      wirepb.NewWorkProtobufClient(base, c.http),
 		}
 		c.remotes[address] = r
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -20,8 +20,8 @@
 	Stamps Stamps
 }
 
-// Step passes Raft messages to the group. One malformed message rejects the
-// whole request.
+// Step passes Raft messages to this process's member of the group. One malformed
+// message rejects the whole request.
 func (s *ConsensusServer[G]) Step(_ context.Context, r *wirepb.StepRequest) (*wirepb.StepResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	all := make([]raft.Message, 0, len(r.GetMessages()))
@@ -83,9 +83,9 @@
 	return &wirepb.JoinResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Join asks the leader of the members' group to add self to the group. It tries
-// the members in turn; if one names the leader's address, it tries that address
-// next. If all attempts fail, it returns the last error.
+// Join asks the leader of the control group, to which the members belong, to add
+// self. It tries the members in turn; if one names the leader's address, it tries
+// that address next. If all attempts fail, it returns the last error.
 func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) error {
 	var lastErr error
 	for _, m := range members {
--- a/io/trans/peers/operator.go
+++ b/io/trans/peers/operator.go
@@ -99,7 +99,7 @@
 // Events requests the event log of the process at address. dropped is the number
 // of events that the process has dropped from it.
 func (c *Client) Events(ctx context.Context, address string) (events []model.Event, dropped int64, err error) {
-	resp, err := c.remote(address).timeline.Events(ctx, &wirepb.EventsRequest{})
+	resp, err := c.remote(address).events.Events(ctx, &wirepb.EventsRequest{})
 	if err != nil {
 		return nil, 0, c.callError("events of "+address, err)
 	}
