peers, roles: wrap comments, say when the member is set after a restart

A process whose data folder shows that it has been in a group sets its member at once. KindUnavailable is a response of the called process.

--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -16,9 +16,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// The limits for connections between processes. After an error of
-// KindUnavailable or KindOutcomeUnknown the idle connections are closed, and later calls
-// open new ones.
+// The limits for connections between processes. After an error of KindUnavailable
+// or KindOutcomeUnknown the idle connections are closed, and later calls open new
+// ones.
 const (
 	dialTimeout         = 500 * time.Millisecond
 	idleTimeout         = 30 * time.Second
@@ -100,8 +100,8 @@
 func (c *Client) observe(s *wirepb.Stamp) { c.stamps.Observe(codec.StampFromWire(s)) }
 
 // callError maps the error of a call. After an error of KindUnavailable or
-// KindOutcomeUnknown it also closes the idle connections: some may have stopped working at
-// the same time and would make the next calls fail too.
+// KindOutcomeUnknown it also closes the idle connections: some may have stopped
+// working at the same time and would make the next calls fail too.
 func (c *Client) callError(op string, err error) *Error {
 	mapped, _ := fromTwirp(op, err)
 	if mapped.Kind == KindUnavailable || mapped.Kind == KindOutcomeUnknown {
--- a/io/trans/peers/error.go
+++ b/io/trans/peers/error.go
@@ -14,9 +14,9 @@
 
 // The kinds of error.
 const (
-	// KindUnavailable: the called process was unavailable, or its response could
-	// not be decoded. The request may have been executed; CallRunner, however,
-	// uses this kind only for calls that were not.
+	// KindUnavailable: the called process responded that it is unavailable, or its
+	// response could not be decoded. The request may have been executed;
+	// CallRunner, however, uses this kind only for calls that were not.
 	KindUnavailable Kind = iota
 	// KindNotLeader: the called member is not the leader; nothing was done.
 	KindNotLeader
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -49,9 +49,10 @@
 // call usually takes one commit, and it can be sent again because it is idempotent.
 const workTimeout clock.Millis = 600
 
-// CallRunner sends a call to the leader's runner. After an *Error of KindOutcomeUnknown
-// the call may have been executed. After an *Error of another kind it was not; it is
-// of KindUnavailable if ctx ended before any attempt could have executed the call.
+// CallRunner sends a call to the leader's runner. After an *Error of
+// KindOutcomeUnknown the call may have been executed. After an *Error of another
+// kind it was not; it is of KindUnavailable if ctx ended before any attempt could
+// have executed the call.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
 	mayHaveRun := false
--- a/io/trans/roles/latency.go
+++ b/io/trans/roles/latency.go
@@ -23,8 +23,8 @@
 	return &timedDispatcher{dispatcher: d, clock: c, waitMillis: admin.NewHistogram(), elapsedMillis: admin.NewHistogram()}
 }
 
-// Acquire calls the dispatcher's Acquire and records the time until the request is granted
-// or refused.
+// Acquire calls the dispatcher's Acquire and records the time until the request is
+// granted or refused.
 func (t *timedDispatcher) Acquire(ctx context.Context, r entry.Request) (entry.Grant, *entry.Refusal) {
 	began := t.clock.Now()
 	grant, refusal := t.dispatcher.Acquire(ctx, r)
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -30,9 +30,10 @@
 	// onStatus, if set, is called after each update of the status; it must not block.
 	onStatus func()
 	mu       sync.Mutex
-	// member is set right before its event loop starts: once this process has formed
-	// the group, or has found the group that it then waits to be added to. It is nil
-	// before that.
+	// member is set right before its event loop starts: at once if the data folder
+	// shows that this process has been in a group, otherwise when it has formed the
+	// group or has found the group that it then waits to be added to. It is nil before
+	// that.
 	member *raftMember
 }
 
