Rename plan.Gap to Shortfall and BorrowReserve to UseOthersSpare

Gap said neither of what nor that it remains after the moves; limits.Shortfall has the same fields as Required and Available. BorrowReserve suggested that spare instances are given back. Checks: build, tests of plan and mover.

--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -104,13 +104,13 @@
 	return steps, c.waits()
 }
 
-// waits returns the gaps of the last assignment and the current reactions to
+// waits returns the shortfalls of the last assignment and the current reactions to
 // surges as waits for operators.
 func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
-	for _, g := range c.lastAssignment.Gaps {
+	for _, s := range c.lastAssignment.Shortfalls {
 		waits = append(waits, Wait{
-			Reason: fmt.Sprintf("pool %s: %s %s: %d of %d: %s", g.Pool, g.Kind, g.Subject, g.Have, g.Need, g.Reason),
+			Reason: fmt.Sprintf("pool %s: %s %s: %d of %d: %s", s.Pool, s.Kind, s.Subject, s.Available, s.Required, s.Reason),
 		})
 	}
 	for _, r := range c.reasons {
--- a/core/state/plan/assign.go
+++ b/core/state/plan/assign.go
@@ -100,7 +100,7 @@
 // mayTakeSpare reports whether a spare pool may supply a pool. It may if it is the
 // spare pool of one of the pool's customers and holds more instances than the
 // unused reserves of its other customers. A customer's lost instances count as
-// the used part of its reserve. With BorrowReserve, reserves of other customers
+// the used part of its reserve. With UseOthersSpare, reserves of other customers
 // do not matter.
 func (d *draft[P]) mayTakeSpare(spare, to Pool) bool {
 	if !d.counts.spares[spare] || d.counts.spares[to] {
@@ -121,22 +121,23 @@
 		}
 		othersReserve += max(0, c.Spare-lost)
 	}
-	if d.settings.BorrowReserve {
+	if d.settings.UseOthersSpare {
 		othersReserve = 0
 	}
 	return ownSpare && d.counts.instances[spare] > othersReserve
 }
 
-// addGaps adds the remaining gaps and the number of idle instances to the result.
-func (d *draft[P]) addGaps() {
+// addShortfalls adds the remaining shortfalls and the number of idle instances to
+// the result.
+func (d *draft[P]) addShortfalls() {
 	c := d.counts
 	for _, p := range slices.Sorted(maps.Keys(c.required)) {
 		if s := c.surplus(p); s < 0 {
-			g := Gap{Kind: GapPromised, Pool: p, Need: c.required[p], Have: c.instances[p], Reason: "no instance may be moved to it"}
+			shortfall := Shortfall{Kind: ShortfallPromised, Pool: p, Required: c.required[p], Available: c.instances[p], Reason: "no instance may be moved to it"}
 			if c.spares[p] {
-				g.Kind = GapSpare
+				shortfall.Kind = ShortfallSpare
 			}
-			d.out.Gaps = append(d.out.Gaps, g)
+			d.out.Shortfalls = append(d.out.Shortfalls, shortfall)
 		}
 	}
 	for p, n := range c.instances {
@@ -148,8 +149,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
 		for _, kind := range domainKinds {
 			if worst, at := c.worstLoss(c.groups[name], kind); worst > 0 {
-				d.out.Gaps = append(d.out.Gaps, Gap{
-					Kind: GapExposed, Pool: name, Subject: kind.String() + " " + at, Need: worst,
+				d.out.Shortfalls = append(d.out.Shortfalls, Shortfall{
+					Kind: ShortfallExposed, Pool: name, Subject: kind.String() + " " + at, Required: worst,
 					Reason: fmt.Sprintf("its loss would leave %d promised instances missing", worst),
 				})
 			}
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		contracts := drawContracts(t, 4)
 		h := newFleetHarness(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 24).Draw(t, "n"), 3, contracts)
-		settings := Settings{BorrowReserve: true, MaxExchangeMoves: 4}
+		settings := Settings{UseOthersSpare: true, MaxExchangeMoves: 4}
 		ids := h.instanceIDs()
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
 			a := AssignFromIndex(Balance{}, settings, h.index, nil)
@@ -57,9 +57,9 @@
 		required += n
 	}
 	missing := 0
-	for _, g := range a.Gaps {
-		if g.Kind != GapExposed {
-			missing += g.Need - g.Have
+	for _, s := range a.Shortfalls {
+		if s.Kind != ShortfallExposed {
+			missing += s.Required - s.Available
 		}
 	}
 	if missing != max(0, required-len(h.state.Instances)) || len(a.Moves) > 0 {
@@ -68,7 +68,7 @@
 }
 
 // TestReserveOfOtherCustomersIsKept guards against a repair for one customer that
-// uses spare instances reserved for another without BorrowReserve.
+// uses spare instances reserved for another without UseOthersSpare.
 func TestReserveOfOtherCustomersIsKept(t *testing.T) {
 	contracts := []model.Contract{
 		{Customer: "a", Spare: 1, SparePool: "spare", Pools: []model.PoolShare{{Pool: "pa", Instances: 3}}},
@@ -83,7 +83,7 @@
 	assert.Equal(t, len(a.Moves), 1)
 	promised, _ := missingCounts(a)
 	assert.Equal(t, promised, 2)
-	assert.Equal(t, len(AssignFromIndex(Spread{}, Settings{BorrowReserve: true}, h.index, nil).Moves), 3)
+	assert.Equal(t, len(AssignFromIndex(Spread{}, Settings{UseOthersSpare: true}, h.index, nil).Moves), 3)
 }
 
 // optimalOutcome searches all assignments of a tiny fleet for the one with the
@@ -161,12 +161,12 @@
 	lostID := h.instanceIDs()[h.rnd.IntN(7)]
 	h.setLost(func(i model.Instance) bool { return i.ID == lostID }, true)
 	in := h.input()
-	a := Assign(policy, Settings{BorrowReserve: true, MaxExchangeMoves: 6}, in)
+	a := Assign(policy, Settings{UseOthersSpare: true, MaxExchangeMoves: 6}, in)
 	promised, exposed := missingCounts(a)
 	spare := 0
-	for _, g := range a.Gaps {
-		if g.Kind == GapSpare {
-			spare += g.Need - g.Have
+	for _, s := range a.Shortfalls {
+		if s.Kind == ShortfallSpare {
+			spare += s.Required - s.Available
 		}
 	}
 	return [3]int{promised*100 + spare, exposed, len(a.Moves)}, optimalOutcome(in, []Pool{"new", "pa", "pb", "spare"})
--- a/core/state/plan/harness_test.go
+++ b/core/state/plan/harness_test.go
@@ -125,12 +125,12 @@
 // missingCounts returns the number of missing promised instances and the total
 // exposure.
 func missingCounts(a Assignment) (promised, exposed int) {
-	for _, g := range a.Gaps {
-		if g.Kind == GapPromised {
-			promised += g.Need - g.Have
+	for _, s := range a.Shortfalls {
+		if s.Kind == ShortfallPromised {
+			promised += s.Required - s.Available
 		}
-		if g.Kind == GapExposed {
-			exposed += g.Need
+		if s.Kind == ShortfallExposed {
+			exposed += s.Required
 		}
 	}
 	return promised, exposed
--- a/core/state/plan/index.go
+++ b/core/state/plan/index.go
@@ -86,7 +86,7 @@
 	if policy.Exchange() {
 		d.exchange()
 	}
-	d.addGaps()
+	d.addShortfalls()
 	d.undo()
 	for _, e := range extras {
 		index.counts.addRequired(e.Pool, -e.Count)
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -4,9 +4,9 @@
 
 // Settings are the operator's choices for assignments.
 type Settings struct {
-	// BorrowReserve lets a customer's repair use spare instances that are
+	// UseOthersSpare lets a customer's repair use spare instances that are
 	// reserved for other customers of the same spare pool.
-	BorrowReserve bool
+	UseOthersSpare bool
 	// MaxExchangeMoves is the largest number of moves in one assignment that
 	// only lower the exposure to losses. Each of these moves is a disruption.
 	MaxExchangeMoves int
@@ -40,40 +40,41 @@
 	Reason   string
 }
 
-// GapKind is the kind of a Gap.
-type GapKind string
+// ShortfallKind is the kind of a Shortfall.
+type ShortfallKind string
 
-// The kinds of gap.
+// The kinds of shortfall.
 const (
-	// GapPromised means that a pool has fewer instances than promised.
-	GapPromised GapKind = "promised"
-	// GapSpare means that a spare pool has fewer instances than reserved.
-	GapSpare GapKind = "spare"
-	// GapExposed means that the loss of a covered failure domain would leave
+	// ShortfallPromised means that a pool has fewer instances than promised.
+	ShortfallPromised ShortfallKind = "promised"
+	// ShortfallSpare means that a spare pool has fewer instances than reserved.
+	ShortfallSpare ShortfallKind = "spare"
+	// ShortfallExposed means that the loss of a covered failure domain would leave
 	// promised instances missing.
-	GapExposed GapKind = "exposed"
+	ShortfallExposed ShortfallKind = "exposed"
 )
 
-// Gap is a shortfall that remains once the moves are done.
-type Gap struct {
-	Kind GapKind
-	// Pool is the pool that lacks instances; for a GapExposed it is the spare pool
+// Shortfall is a lack of instances that remains once the moves are done.
+type Shortfall struct {
+	Kind ShortfallKind
+	// Pool is the pool that lacks instances; for a ShortfallExposed it is the spare pool
 	// of the exposed pools, empty if they have none.
 	Pool Pool
-	// Subject is the kind and name of the failure domain of a GapExposed.
+	// Subject is the kind and name of the failure domain of a ShortfallExposed.
 	Subject string
-	// Need is the number of instances that the pool should have, and Have the
-	// number that it has. For a GapExposed, Need is the number of instances that
-	// the loss of the failure domain would leave missing, and Have is 0.
-	Need   int
-	Have   int
-	Reason string
+	// Required is the number of instances that the pool should have, and Available
+	// the number that it has. For a ShortfallExposed, Required is the number of
+	// instances that the loss of the failure domain would leave missing, and
+	// Available is 0.
+	Required  int
+	Available int
+	Reason    string
 }
 
 // Assignment is the result of Assign and AssignFromIndex.
 type Assignment struct {
-	Moves []Move
-	Gaps  []Gap
+	Moves      []Move
+	Shortfalls []Shortfall
 	// Idle is the number of idle instances once the moves are done: all spare
 	// instances, and those that pools have beyond what contracts promise.
 	Idle int
