--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -99,8 +99,8 @@
 	borrowing map[model.Pool]bool
 	// peaksRotatedAt is the time at which the router last started a new peak window.
 	peaksRotatedAt clock.Millis
-	// poolDemands, loanMessages and ownSlots are reused buffers.
-	poolDemands  []lend.PoolDemand
+	// loanDemands, loanMessages and ownSlots are reused buffers.
+	loanDemands  []lend.LoanDemand
 	loanMessages []lend.Message
 	ownSlots     []lend.UpstreamSlots
 	table        model.Table
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -101,16 +101,16 @@
 		d.peaksRotatedAt = now
 		d.router.RotatePeaks()
 	}
-	d.poolDemands = d.poolDemands[:0]
+	d.loanDemands = d.loanDemands[:0]
 	d.pools = d.admission.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
 		if n := d.admission.RunnableCount(p); n > 0 {
-			d.poolDemands = append(d.poolDemands, lend.PoolDemand{Pool: p, InstancesByZone: d.servingByZone[p], Pressure: lend.Pressure{
+			d.loanDemands = append(d.loanDemands, lend.LoanDemand{Pool: p, InstancesByZone: d.servingByZone[p], Pressure: lend.Pressure{
 				Waiting: n, Capacity: d.capacity(now, p), TypicalRunTime: d.admission.TypicalRunTime(p),
 			}})
 		}
 	}
-	d.loanMessages = d.loans.DueMessages(now, d.poolDemands, d.loanMessages[:0])
+	d.loanMessages = d.loans.DueMessages(now, d.loanDemands, d.loanMessages[:0])
 	for i, m := range d.loanMessages {
 		if !d.cfg.LoanMessages.TryPut(m) {
 			d.failMessage(now, m)
--- a/core/state/lend/lend_test.go
+++ b/core/state/lend/lend_test.go
@@ -59,10 +59,10 @@
 }
 
 // demand is the demand for one pool whose only instance is in zone z1.
-var demand = []PoolDemand{{Pool: "p", InstancesByZone: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
+var demand = []LoanDemand{{Pool: "p", InstancesByZone: map[model.Zone]int{"z1": 1}, Pressure: Pressure{Waiting: 3}}}
 
 // dueMessage returns the only due message other than recalls.
-func dueMessage(t *testing.T, l *Ledger[Idle], now clock.Millis, demands []PoolDemand) Message {
+func dueMessage(t *testing.T, l *Ledger[Idle], now clock.Millis, demands []LoanDemand) Message {
 	t.Helper()
 	var due []Message
 	for _, m := range l.DueMessages(now, demands, nil) {
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -11,7 +11,7 @@
 // and for each pool in demands at most one request for new loans. demands lists
 // the pools with waiting requests. At most one loan request or return is in flight
 // to a process.
-func (l *Ledger[P]) DueMessages(now clock.Millis, demands []PoolDemand, buf []Message) []Message {
+func (l *Ledger[P]) DueMessages(now clock.Millis, demands []LoanDemand, buf []Message) []Message {
 	if !l.Enabled() {
 		return buf
 	}
@@ -20,7 +20,7 @@
 	buf = l.appendReturns(now, buf)
 	buf = l.appendRenewals(now, buf)
 	for p, s := range l.pools {
-		if !slices.ContainsFunc(demands, func(demand PoolDemand) bool { return demand.Pool == p }) {
+		if !slices.ContainsFunc(demands, func(demand LoanDemand) bool { return demand.Pool == p }) {
 			s.pressureSince = 0
 		}
 	}
@@ -139,7 +139,7 @@
 
 // requestLoans appends a request to one lender for the slots that the pool needs
 // beyond those already requested.
-func (l *Ledger[P]) requestLoans(now clock.Millis, demand PoolDemand, buf []Message) []Message {
+func (l *Ledger[P]) requestLoans(now clock.Millis, demand LoanDemand, buf []Message) []Message {
 	loans := l.loansOf(demand.Pool)
 	if loans.pressureSince == 0 {
 		loans.pressureSince = now
--- a/core/state/lend/simulation_test.go
+++ b/core/state/lend/simulation_test.go
@@ -222,8 +222,8 @@
 	p := s.randomProcess()
 	p.ledger.Expire(s.localTime(p))
 	s.syncRouter(p)
-	demand := lend.PoolDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: s.rng.IntN(10)}}
-	for _, message := range p.ledger.DueMessages(s.localTime(p), []lend.PoolDemand{demand}, nil) {
+	demand := lend.LoanDemand{Pool: "p", InstancesByZone: map[model.Zone]int{"za": 2}, Pressure: lend.Pressure{Waiting: s.rng.IntN(10)}}
+	for _, message := range p.ledger.DueMessages(s.localTime(p), []lend.LoanDemand{demand}, nil) {
 		s.network = append(s.network, &pendingMessage{from: p, to: s.find(message.To), incarnation: p.incarnation, message: message, sentAt: s.localTime(p)})
 	}
 }
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -149,9 +149,9 @@
 	LentSlots, HeldSlots int64
 }
 
-// PoolDemand is the demand for a pool that has waiting requests whose customers may
+// LoanDemand is the demand for a pool that has waiting requests whose customers may
 // run now.
-type PoolDemand struct {
+type LoanDemand struct {
 	Pool model.Pool
 	Pressure
 	// InstancesByZone counts the serving instances of the pool in each zone.
