Rename fields of sched.Settings, Action and Machine

MaxHoldMillis limits the delay of the reply: MaxReplyDelayMillis. Action.Step is the ID of a task that identifies a step: FirstTask. ExpectedDuration is the response time of the advice service: ExpectedResponseTime. Machine.Up is set for a standby machine that is powered off but usable: Available; the wire value "up" stays.

Checks: build, tests of sched, lend, entry and runner; of platform the tests matching Machine, Message or Golden.

--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -208,7 +208,7 @@
 }
 
 func (r *Runner[G, M, O, J]) sendAction(a pendingAction) sched.Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.ExpectedDuration).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), (actionTimeout + a.ExpectedResponseTime).Duration())
 	defer cancel()
 	if !r.maySend(a) {
 		return sched.Outcome{Answer: sched.AnswerRefusedForNow}
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -126,7 +126,7 @@
 	s.advice.pendingStep, s.advice.pendingWorkers, s.advice.requestedAt = g.key, incarnations, now
 	policy := s.adviceOf(g.rec)
 	s.plan.Actions = append(s.plan.Actions, Action{
-		Kind: ActionAdvise, Step: g.key.taskID(0), Workers: workers, ExpectedDuration: policy.BaseLatency + clock.Millis(len(workers))*policy.LatencyPerWorker,
+		Kind: ActionAdvise, FirstTask: g.key.taskID(0), Workers: workers, ExpectedResponseTime: policy.BaseLatency + clock.Millis(len(workers))*policy.LatencyPerWorker,
 	})
 }
 
--- a/core/state/sched/advice_test.go
+++ b/core/state/sched/advice_test.go
@@ -44,7 +44,7 @@
 	p := f.Pass(f.now)
 	a := adviceRequest(t, p)
 	assert.Equal(t, len(ordersFor(p, "w1").Starts)+len(ordersFor(p, "w2").Starts), 0)
-	assert.DeepEqual(t, a.Step, jobs.TaskID{Job: "a"})
+	assert.DeepEqual(t, a.FirstTask, jobs.TaskID{Job: "a"})
 	assert.DeepEqual(t, a.Workers, []jobs.WorkerID{"w1", "w2"})
 	f.HandleOutcome(a, Outcome{Tickets: []Ticket{{Worker: "w2", Text: "ticket-w2"}, {Worker: "w9", Text: "ticket-w9"}}}, f.now+30)
 	f.now += 30
@@ -69,8 +69,8 @@
 	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionAdvise)), 0)
 	f.HandleOutcome(a, Outcome{}, f.now)
 	b := adviceRequest(t, f.Pass(f.now))
-	assert.Equal(t, a.Step.Job, jobs.ID("a"))
-	assert.Equal(t, b.Step.Job, jobs.ID("b"))
+	assert.Equal(t, a.FirstTask.Job, jobs.ID("a"))
+	assert.Equal(t, b.FirstTask.Job, jobs.ID("b"))
 }
 
 // TestUnansweredAdviceRequestIsRepeated guards against a job that waits forever
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -230,7 +230,7 @@
 			}
 			if c.busy != "" {
 				heartbeatFrom("busy", c.busy)
-				f.now += f.settings.MaxHoldMillis
+				f.now += f.settings.MaxReplyDelayMillis
 				f.Pass(f.now)
 			}
 			f.submit("g", sameRack)
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -357,17 +357,17 @@
 	if w.heartbeat.urgent || len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0 {
 		return now
 	}
-	hold := s.settings.MaxHoldMillis
+	delay := s.settings.MaxReplyDelayMillis
 	if worstPermille, bestEffortTasks := w.tailLatency(); bestEffortTasks > 0 && worstPermille > fastTailPermille {
-		hold = min(hold, speedPeriodMillis)
+		delay = min(delay, speedPeriodMillis)
 	}
 	if end, ok := w.predictNextEnd(now); ok {
-		hold = min(hold, end-now-2*s.settings.MinRetryMillis)
+		delay = min(delay, end-now-2*s.settings.MinRetryMillis)
 	}
-	if hold < 2*s.settings.MinRetryMillis {
+	if delay < 2*s.settings.MinRetryMillis {
 		return now
 	}
-	return now + hold
+	return now + delay
 }
 
 // predictNextEnd predicts when the next task of the worker ends. The prediction
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -285,7 +285,7 @@
 
 // nextPass returns when the next pass is due.
 func (s *Scheduler[P, H]) nextPass(now clock.Millis) clock.Millis {
-	at := now + s.settings.MaxHoldMillis
+	at := now + s.settings.MaxReplyDelayMillis
 	if s.replyDeadlines.Len() > 0 {
 		at = min(at, s.replyDeadlines.Top().at)
 	}
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -220,7 +220,7 @@
 		if f.machineSize.MilliCores < m.Capacity.MilliCores {
 			f.machineSize = m.Capacity
 		}
-		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Up && !moving {
+		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Available && !moving {
 			f.standby[m.ID] = m.Pool
 		}
 	}
--- a/core/state/sched/scheduler_test.go
+++ b/core/state/sched/scheduler_test.go
@@ -315,7 +315,7 @@
 		for _, a := range actionsOf(p, ActionListMachines) {
 			lists++
 			// The first list still contains the machine.
-			machines := []Machine{{ID: "m-other", Pool: "p", Up: true}}
+			machines := []Machine{{ID: "m-other", Pool: "p", Available: true}}
 			if lists == 1 {
 				machines = append(machines, Machine{ID: "m-gone", Pool: "p"})
 			}
@@ -359,10 +359,10 @@
 	p := f.Pass(f.now)
 	assert.Equal(t, len(actionsOf(p, ActionListMachines)), 1)
 	f.HandleOutcome(actionsOf(p, ActionListMachines)[0], Outcome{Machines: []Machine{
-		{ID: "s1", Pool: "off", Up: true, Capacity: jobs.Resources{MilliCores: 16_000}},
-		{ID: "s2", Pool: "off", Up: true},
+		{ID: "s1", Pool: "off", Available: true, Capacity: jobs.Resources{MilliCores: 16_000}},
+		{ID: "s2", Pool: "off", Available: true},
 		{ID: "s3", Pool: "off"},
-		{ID: "m-w1", Pool: "p", Up: true},
+		{ID: "m-w1", Pool: "p", Available: true},
 	}}, f.now)
 	many := smallStep
 	many.TaskCount, many.Estimate = 100, 1000
--- a/core/state/sched/throttle_test.go
+++ b/core/state/sched/throttle_test.go
@@ -112,7 +112,7 @@
 		running[i].Load = int(latencyTarget) / 4
 	}
 	next.heartbeat("w1", 1, running)
-	next.now += next.settings.MaxHoldMillis
+	next.now += next.settings.MaxReplyDelayMillis
 	assert.DeepEqual(t, ordersFor(next.Pass(next.now), "w1").Throttles, []Throttle{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: 100}})
 }
 
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -14,9 +14,9 @@
 	// permille. It has the type clock.Millis only because LeaseMillis is
 	// multiplied by it.
 	DriftPermille clock.Millis
-	// MaxHoldMillis limits the delay of the reply to a heartbeat. A worker
+	// MaxReplyDelayMillis limits the delay of the reply to a heartbeat. A worker
 	// drops a reply that arrives more than a second after its heartbeat.
-	MaxHoldMillis clock.Millis
+	MaxReplyDelayMillis clock.Millis
 	// MinRetryMillis and MaxRetryMillis limit the pause that a worker makes
 	// before its next heartbeat.
 	MinRetryMillis clock.Millis
@@ -50,7 +50,7 @@
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
-		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxHoldMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
+		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxReplyDelayMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
 		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second,
 		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, ReserveMachines: 2,
 		StallMillis: 1500,
@@ -167,21 +167,24 @@
 	Machine jobs.MachineID
 	Wave    int
 	Pool    jobs.PoolName
-	// Step identifies, by its first task, the step that ActionAdvise is about.
-	// Workers are the workers to judge, and ExpectedDuration is the expected
-	// response time.
-	Step             jobs.TaskID
-	Workers          []jobs.WorkerID
-	ExpectedDuration clock.Millis
+	// FirstTask is the first task of the step that ActionAdvise is about; it
+	// identifies the step. Workers are the workers to judge, and
+	// ExpectedResponseTime is the response time that the queue's advice policy
+	// predicts for their number.
+	FirstTask            jobs.TaskID
+	Workers              []jobs.WorkerID
+	ExpectedResponseTime clock.Millis
 }
 
 // Machine is a machine in the platform's list.
 type Machine struct {
 	ID   jobs.MachineID
 	Pool jobs.PoolName
-	// Up is false while the machine is being moved or maintained, or is down.
-	Up       bool
-	Capacity jobs.Resources
+	// Available is false while the machine is being moved or maintained, or is
+	// broken. It is true for a machine of a standby pool that is powered off but
+	// can be moved to another pool.
+	Available bool
+	Capacity  jobs.Resources
 }
 
 // Outcome is the platform's answer to an action, with the requested data.
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -176,7 +176,7 @@
 // MaxDown.
 func (s *Scheduler[P, H]) requiredParallelism(v *wave, now clock.Millis) int {
 	remaining := clock.Millis(len(v.Machines) - len(v.Started))
-	perMachine := s.settings.MaintenanceMillis + s.settings.MaxHoldMillis
+	perMachine := s.settings.MaintenanceMillis + s.settings.MaxReplyDelayMillis
 	timeLeft := max(v.Deadline-deadlineMarginMillis-now, perMachine)
 	return int(min(max((remaining*perMachine+timeLeft-1)/timeLeft, 1), clock.Millis(v.MaxDown)))
 }
@@ -290,7 +290,7 @@
 // deadline. The wave then no longer waits for running tasks to end.
 func (s *Scheduler[P, H]) behindSchedule(v *wave, now clock.Millis) bool {
 	rounds := (len(v.Machines) - len(v.Started) + v.MaxDown - 1) / v.MaxDown
-	return now+clock.Millis(rounds)*(s.settings.MaintenanceMillis+s.settings.MaxHoldMillis) > v.Deadline
+	return now+clock.Millis(rounds)*(s.settings.MaintenanceMillis+s.settings.MaxReplyDelayMillis) > v.Deadline
 }
 
 // orderMaintenance orders the maintenance of a machine, or repeats the order. w
