Name the units and the effects in the rebalancing of sched

poolLoads also updated workers and rates: updatePoolLoads. machineSize was used only for its milli-cores and raised field by field: maxMilliCores. Values of type clock.Millis that carry milli-cores, milli-cores x ms or cores x ms now say so in their names. Load says which unit applies to which task. The comments of gangCapacity and adviceRequestSize had to be read twice.

--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -111,9 +111,9 @@
 	return n
 }
 
-// gangCapacity returns the numbers of tasks of the group that the workers of
-// the pool, and those of its rack with the most capacity, can run once all
-// other tasks except long-running ones have ended.
+// gangCapacity returns how many tasks of the group can run once all other tasks
+// except long-running ones have ended: inPool on all workers of the pool, and
+// inBestRack on those of the rack that can run the most.
 func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (inPool, inBestRack int) {
 	byRack := map[string]int{}
 	for w := range s.liveWorkers(p, now) {
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -104,10 +104,10 @@
 	// available holds the workers that are not draining and have a heartbeat
 	// without a reply. Tasks can be assigned only to these.
 	available map[jobs.WorkerID]*worker
-	// newWork is the work that has arrived since the last update of
-	// arrivalRate, in milli-cores times milliseconds, although its type is
-	// clock.Millis.
-	newWork clock.Millis
+	// newMilliCoreMillis is the work that has arrived since the last update of
+	// arrivalRate. Its unit is milli-cores times milliseconds, although its type
+	// is clock.Millis.
+	newMilliCoreMillis clock.Millis
 	// arrivalRate is the moving average of the work that arrives per
 	// millisecond, in milli-cores, over about half a second.
 	arrivalRate float64
@@ -198,7 +198,7 @@
 func (s *Scheduler[P, H]) queueOccurrence(rec *jobs.Record, occurrence int, now clock.Millis) {
 	p := s.pool(s.poolOf(rec))
 	for step := range rec.Steps {
-		p.newWork += finiteWork(&rec.Steps[step], rec.Steps[step].TaskCount, rec.Steps[step].Estimate)
+		p.newMilliCoreMillis += finiteMilliCoreMillis(&rec.Steps[step], rec.Steps[step].TaskCount, rec.Steps[step].Estimate)
 	}
 	for step := range rec.Steps {
 		if !rec.Ready(occurrence, step) {
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -43,8 +43,11 @@
 	// unanswered order or a move to the standby pool.
 	moves           map[jobs.MachineID]machineMove
 	notMovableUntil map[jobs.MachineID]clock.Millis
-	// machineSize is the capacity of the machine with the most processors seen.
-	machineSize jobs.Resources
+	// maxMilliCores holds, in its field MilliCores, the most milli-cores of any
+	// machine in a list of machines or in a heartbeat. Its other fields are not
+	// used: a heartbeat raises MilliCores alone, so they may belong to a smaller
+	// machine.
+	maxMilliCores jobs.Resources
 	// listPending is set while a request for the list of machines is pending.
 	listPending bool
 	// listFailed is set once a request for the list has failed. listRequestedAt
@@ -111,7 +114,7 @@
 			s.clearGoingDown(s.workerByMachine[m], move.incarnation)
 		}
 	}
-	loads := s.poolLoads(now)
+	loads := s.updatePoolLoads(now)
 	s.noteLoads(loads, now)
 	missing := 0
 	for _, load := range loads {
@@ -156,7 +159,7 @@
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d core-ms of work waiting",
-			load.name, load.machines, load.needed, len(load.idle), withLongRunning, s.pool(load.name).waitingWork()/1000))
+			load.name, load.machines, load.needed, len(load.idle), withLongRunning, s.pool(load.name).waitingMilliCoreMillis()/1000))
 	}
 }
 
@@ -217,8 +220,8 @@
 	listed := make(map[jobs.MachineID]bool, len(outcome.Machines))
 	for _, m := range outcome.Machines {
 		listed[m.ID] = true
-		if f.machineSize.MilliCores < m.Capacity.MilliCores {
-			f.machineSize = m.Capacity
+		if f.maxMilliCores.MilliCores < m.Capacity.MilliCores {
+			f.maxMilliCores = m.Capacity
 		}
 		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Available && !moving {
 			f.standby[m.ID] = m.Pool
@@ -229,10 +232,11 @@
 	}
 }
 
-// poolLoads returns the loads of all pools except standby pools, those that
-// lack the most machines first. It also updates the arrival rates, the machine
-// size and how long workers have been idle.
-func (s *Scheduler[P, H]) poolLoads(now clock.Millis) []*poolLoad {
+// updatePoolLoads returns the loads of all pools except standby pools, those that
+// lack the most machines first; nil while the size of no machine is known. It also
+// updates the pools' arrival rates, maxMilliCores, and the idleSince and vacating
+// of the workers.
+func (s *Scheduler[P, H]) updatePoolLoads(now clock.Millis) []*poolLoad {
 	byPool := map[jobs.PoolName]*poolLoad{}
 	for _, p := range s.State.Config.Pools {
 		if !p.Standby {
@@ -246,7 +250,7 @@
 		if load == nil || !w.reported || w.draining || w.goingDown || w.leaseUntil < now {
 			continue
 		}
-		s.fleet.machineSize.MilliCores = max(s.fleet.machineSize.MilliCores, w.capacity.MilliCores)
+		s.fleet.maxMilliCores.MilliCores = max(s.fleet.maxMilliCores.MilliCores, w.capacity.MilliCores)
 		load.machines++
 		if w.cordoned || w.quarantinedUntil > now {
 			load.machines--
@@ -271,14 +275,14 @@
 			load.machines++
 		}
 	}
-	if s.fleet.machineSize.MilliCores == 0 {
+	if s.fleet.maxMilliCores.MilliCores == 0 {
 		return nil
 	}
-	perMachine := s.fleet.machineSize.MilliCores
+	perMachine := s.fleet.maxMilliCores.MilliCores
 	for name, load := range byPool {
 		p := s.pool(name)
 		p.updateArrivalRate()
-		neededMilliCores := int(busyMilliCores[name] + p.waitingWork()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
+		neededMilliCores := int(busyMilliCores[name] + p.waitingMilliCoreMillis()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
 		load.needed = (neededMilliCores + perMachine - 1) / perMachine
 		if n := s.pool(name).machinesForUnplacedTasks(now); n > 0 {
 			load.needed = max(load.needed, load.machines+n)
@@ -318,10 +322,10 @@
 	return -1
 }
 
-// finiteWork returns the work of a number of tasks of a step, each of the given
-// duration; 0 for long-running and best-effort tasks. The unit is milli-cores
-// times milliseconds, although the type is clock.Millis.
-func finiteWork(step *jobs.Step, tasks int, duration clock.Millis) clock.Millis {
+// finiteMilliCoreMillis returns the work of a number of tasks of a step, each of
+// the given duration; 0 for long-running and best-effort tasks. The unit is
+// milli-cores times milliseconds, although the type is clock.Millis.
+func finiteMilliCoreMillis(step *jobs.Step, tasks int, duration clock.Millis) clock.Millis {
 	if step.LongRunning || step.BestEffort {
 		return 0
 	}
@@ -333,15 +337,15 @@
 // remaining work divided by the time within which it should end. The unit is
 // milli-cores, although the type is clock.Millis.
 func (w *worker) requiredMilliCores(now, within clock.Millis) clock.Millis {
-	sum := clock.Millis(0)
+	milliCores := clock.Millis(0)
 	for _, r := range w.runs {
 		if r.step.LongRunning {
-			sum += clock.Millis(reservation(r.step).MilliCores)
+			milliCores += clock.Millis(reservation(r.step).MilliCores)
 			continue
 		}
-		sum += finiteWork(r.step, 1, max(r.assignedAt+r.step.Estimate-now, 0)) / within
+		milliCores += finiteMilliCoreMillis(r.step, 1, max(r.assignedAt+r.step.Estimate-now, 0)) / within
 	}
-	return sum
+	return milliCores
 }
 
 // arrivalRateWeight is the weight of the latest sample in the moving average of
@@ -349,17 +353,17 @@
 const arrivalRateWeight = 0.3
 
 // updateArrivalRate updates the moving average with the work that has arrived
-// since the last call, which is taken to be one rebalance period ago.
+// since the last call. The last call is assumed to be rebalancePeriodMillis ago.
 func (p *pool) updateArrivalRate() {
-	p.arrivalRate += arrivalRateWeight * (float64(p.newWork/rebalancePeriodMillis) - p.arrivalRate)
-	p.newWork = 0
+	p.arrivalRate += arrivalRateWeight * (float64(p.newMilliCoreMillis/rebalancePeriodMillis) - p.arrivalRate)
+	p.newMilliCoreMillis = 0
 }
 
-// waitingWork returns the amount of waiting work of the pool, without
-// best-effort tasks and without work that can no longer meet its deadline. The
-// unit is milli-cores times milliseconds, although the type is clock.Millis.
-func (p *pool) waitingWork() clock.Millis {
-	sum := clock.Millis(0)
+// waitingMilliCoreMillis returns the waiting work of the pool, without best-effort
+// tasks and without work that can no longer meet its deadline. The unit is
+// milli-cores times milliseconds, although the type is clock.Millis.
+func (p *pool) waitingMilliCoreMillis() clock.Millis {
+	milliCoreMillis := clock.Millis(0)
 	for _, g := range p.groups {
 		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
 			continue
@@ -370,9 +374,9 @@
 			// processors count.
 			duration = clock.Second
 		}
-		sum += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * duration
+		milliCoreMillis += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * duration
 	}
-	return sum
+	return milliCoreMillis
 }
 
 // moveMachineTo orders the move of one machine to a pool: a standby machine or,
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -123,8 +123,8 @@
 	// leaseExpired is set from the end of the lease until the next heartbeat.
 	leaseExpired bool
 	speed        speed
-	// idleSince is when poolLoads first found that the worker runs nothing; 0
-	// if it runs something.
+	// idleSince is when updatePoolLoads first found that the worker runs
+	// nothing; 0 if it runs something.
 	idleSince clock.Millis
 	// failureScore measures the evidence that the worker itself is faulty. The
 	// worker is quarantined until quarantinedUntil.
@@ -159,8 +159,8 @@
 	step   *jobs.Step
 	// listed is set if the worker's latest heartbeat lists the run.
 	listed bool
-	// percent and load are those of the latest RunStatus, and checkpoint is the
-	// latest one that is not empty.
+	// percent and load are those of the latest RunStatus; RunStatus.Load says in
+	// which unit load is. checkpoint is the latest checkpoint that is not empty.
 	percent    int
 	load       int
 	checkpoint string
--- a/core/state/sched/surge_test.go
+++ b/core/state/sched/surge_test.go
@@ -67,9 +67,9 @@
 	return j.arrivesAt + j.job.Target + j.job.Steps[0].Estimate*clock.Millis(j.job.StretchPermille)/1000
 }
 
-// work returns the processor time of all tasks of the job, in
-// core-milliseconds.
-func (j simJob) work() clock.Millis {
+// coreMillis returns the processor time of all tasks of the job. The unit is cores
+// times milliseconds, although the type is clock.Millis.
+func (j simJob) coreMillis() clock.Millis {
 	s := j.job.Steps[0]
 	return clock.Millis(s.TaskCount*s.Resources.MilliCores) * j.duration / 1000
 }
@@ -84,21 +84,21 @@
 	bound := len(all)
 	for from := clock.Millis(0); from < loadMillis; from += 100 * loadStepMillis {
 		for to := from + clock.Second; to < loadMillis+10*clock.Second; to += 100 * loadStepMillis {
-			var inside []clock.Millis
+			var insideCoreMillis []clock.Millis
 			for _, j := range all {
 				if j.arrivesAt >= from && j.deadline() <= to {
-					inside = append(inside, j.work())
+					insideCoreMillis = append(insideCoreMillis, j.coreMillis())
 				}
 			}
-			slices.Sort(inside)
-			remaining, fitting := cores*(to-from), 0
-			for _, work := range inside {
-				if remaining -= work; remaining < 0 {
+			slices.Sort(insideCoreMillis)
+			remainingCoreMillis, fitting := cores*(to-from), 0
+			for _, jobCoreMillis := range insideCoreMillis {
+				if remainingCoreMillis -= jobCoreMillis; remainingCoreMillis < 0 {
 					break
 				}
 				fitting++
 			}
-			bound = min(bound, len(all)-len(inside)+fitting)
+			bound = min(bound, len(all)-len(insideCoreMillis)+fitting)
 		}
 	}
 	return bound
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -66,8 +66,9 @@
 	// Percent is the progress of a finite task, and 100 for a long-running task
 	// that is serving.
 	Percent int
-	// Load is the tail latency of a serving task in milliseconds, and the
-	// processor use of any other task in permille.
+	// Load is in milliseconds for a serving task, as its tail latency, and in
+	// permille for any other task, as its processor use. The scheduler reads only
+	// the tail latency, and only of tasks with a LatencyTarget.
 	Load int
 }
 
