Say what the recalls, templates and counters of lend are

unacknowledged holds the times of the next recalls: nextRecall. The result clear of HandleRecall hid the builtin: noneLeft. The comments now say that LoansUncertain clears, that the Loan in UpstreamSlots is a template, that position 0 stands for all loans of a request, and that Used can decrease.

--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -183,17 +183,17 @@
 // HandleRecall ends the held loans that earlier runs of the lender granted. It
 // reports whether none of them is left. A loan is left until it was returned, which
 // includes that its connections are closed, or has expired at the lender.
-func (l *Ledger[P]) HandleRecall(r Recall) (clear bool) {
+func (l *Ledger[P]) HandleRecall(r Recall) (noneLeft bool) {
 	if from := l.lenders[r.Lender]; from != nil {
 		from.incarnation = r.Incarnation
 	}
-	clear = true
+	noneLeft = true
 	for _, h := range l.held {
 		if h.Lender == r.Lender && h.lenderIncarnation != r.Incarnation && h.Slots > 0 {
-			h.ended, clear = true, false
+			h.ended, noneLeft = true, false
 		}
 	}
-	return clear
+	return noneLeft
 }
 
 // HandleResponse processes the response to the loan request m that was sent at
--- a/core/state/lend/ledger.go
+++ b/core/state/lend/ledger.go
@@ -21,8 +21,8 @@
 	end clock.Millis
 }
 
-// Ledger records the loans that one process has granted and holds. It is not
-// safe for concurrent use.
+// Ledger records the loans that one process has granted to others, and those that
+// it holds from others. It is not safe for concurrent use.
 type Ledger[P Policy] struct {
 	cfg    Settings
 	policy P
@@ -36,10 +36,10 @@
 	// changed lists the instances whose number of lent slots has changed since
 	// the last call of TakeChanges.
 	changed []model.InstanceID
-	// unacknowledged holds the processes that may hold loans of earlier runs of
-	// this process, with the earliest time of the next recall to each. All such
-	// loans have ended by loansUncertainUntil.
-	unacknowledged      map[model.Process]clock.Millis
+	// nextRecall holds the earliest time of the next recall to each process that
+	// may hold loans of earlier runs of this process. All such loans have ended by
+	// loansUncertainUntil.
+	nextRecall          map[model.Process]clock.Millis
 	loansUncertainUntil clock.Millis
 
 	held       map[ID]*HeldLoan
@@ -54,9 +54,9 @@
 	l := &Ledger[P]{
 		cfg: cfg, policy: policy,
 		lentLoans: map[loanKey]lentLoan{}, lentSlots: map[model.InstanceID]int{},
-		starved:        map[starvedKey]clock.Millis{},
-		unacknowledged: map[model.Process]clock.Millis{},
-		held:           map[ID]*HeldLoan{}, pools: map[model.Pool]*poolLoans{},
+		starved:    map[starvedKey]clock.Millis{},
+		nextRecall: map[model.Process]clock.Millis{},
+		held:       map[ID]*HeldLoan{}, pools: map[model.Pool]*poolLoans{},
 		lenders: map[model.Process]*lender{},
 	}
 	for _, m := range cfg.Entries {
@@ -65,7 +65,7 @@
 		}
 		l.lenders[m.Name] = &lender{member: m}
 		if cfg.Lease > 0 {
-			l.unacknowledged[m.Name] = 0
+			l.nextRecall[m.Name] = 0
 		}
 	}
 	l.loansUncertainUntil = now + cfg.Lease + cfg.MaxRequestTime
@@ -77,17 +77,19 @@
 
 // LoansUncertain reports whether loans that an earlier run of this process granted
 // may still be in use. While it returns true, the process must leave its lendable
-// slots unused and must not confirm the release of an instance.
+// slots unused and must not confirm the release of an instance. From
+// loansUncertainUntil on, LoansUncertain also clears nextRecall, because all such
+// loans have ended.
 func (l *Ledger[P]) LoansUncertain(now clock.Millis) bool {
-	if len(l.unacknowledged) > 0 && now >= l.loansUncertainUntil {
-		clear(l.unacknowledged)
+	if len(l.nextRecall) > 0 && now >= l.loansUncertainUntil {
+		clear(l.nextRecall)
 	}
-	return len(l.unacknowledged) > 0
+	return len(l.nextRecall) > 0
 }
 
 // HandleRecallAck records that a process holds no loans of earlier runs of this
 // process.
-func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.unacknowledged, from) }
+func (l *Ledger[P]) HandleRecallAck(from model.Process) { delete(l.nextRecall, from) }
 
 // Lent returns how many of this process's slots of an upstream are lent.
 func (l *Ledger[P]) Lent(id model.InstanceID) int { return l.lentSlots[id] }
@@ -193,6 +195,7 @@
 // returned before or have expired.
 func (l *Ledger[P]) HandleReturn(r Return) {
 	for _, id := range r.IDs {
+		// Position 0 stands for all loans of the request.
 		if id&(1<<positionBits-1) != 0 {
 			l.endLoan(loanKey{r.Borrower, r.Incarnation, id})
 			continue
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -35,11 +35,11 @@
 	if !l.LoansUncertain(now) {
 		return buf
 	}
-	for p, due := range l.unacknowledged {
+	for p, due := range l.nextRecall {
 		if now < due {
 			continue
 		}
-		l.unacknowledged[p] = now + retryAfter
+		l.nextRecall[p] = now + retryAfter
 		buf = append(buf, Message{
 			Kind: MessageRecall, To: p, Recall: Recall{Lender: l.cfg.Self, Incarnation: l.cfg.Incarnation},
 		})
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -17,13 +17,15 @@
 	Duration clock.Millis
 }
 
-// UpstreamSlots describes the slots of an upstream in a process that may lend
-// them.
+// UpstreamSlots describes this process's share of the slots of an upstream, from
+// which it may lend.
 type UpstreamSlots struct {
+	// Loan is not a granted loan, but the template from which loans of the upstream
+	// are made: each is a copy with its own ID, Slots and Connections. Slots of the
+	// template is this process's share.
 	Loan
-	// The Slots of the embedded Loan are this process's share. Lendable is the
-	// part of it that may be lent, and ConnectionsPerSlot the number of
-	// connections that go with each lent slot.
+	// Lendable is the part of the share that may be lent, and ConnectionsPerSlot
+	// the number of connections that go with each lent slot.
 	Lendable           int
 	ConnectionsPerSlot int
 	// PeakRunning is the largest number of own requests that were in flight at
@@ -66,9 +68,10 @@
 	// are requested: own slots can serve a short burst without a loan.
 	minPressureTime clock.Millis = 100
 	// maxWait is the upper limit of the time that a request may wait for an own
-	// or borrowed slot before a slot is requested for it. The time is half a run
-	// time: with several run times, callers that send a request only after the
-	// response to the last one used only a fifth of the idle slots.
+	// or borrowed slot before a slot is requested for it. Up to this limit, the
+	// time is half a run time. When it was several run times, callers that send a
+	// request only after the response to the last one used only a fifth of the
+	// idle slots.
 	maxWait clock.Millis = 100
 	// defaultRunTime is assumed if the run time is not known.
 	defaultRunTime clock.Millis = 20
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -133,8 +133,8 @@
 	ReservePercent int
 }
 
-// Counts are the counters of a ledger. All but LentSlots and HeldSlots only
-// increase.
+// Counts are the counters of a ledger. Requested, Refused, Granted, Received and
+// Expired only increase.
 type Counts struct {
 	// Requested is the number of requests for new loans that were sent, and
 	// Refused the number of those that brought no loan. Renewals do not count.
@@ -142,7 +142,8 @@
 	// Granted and Received count loans. Expired counts the granted loans that
 	// were not returned in time.
 	Granted, Received, Expired int64
-	// Used is the number of requests that ran on loans.
+	// Used is the number of requests that ran on loans. Acquire increments it; a
+	// caller that releases the slot without having used it decrements it.
 	Used int64
 	// LentSlots and HeldSlots are the numbers of slots that are lent and
 	// borrowed now.
