Correct what plan and place say of extras, benchmarks and workers

The sentence on Extra did not parse. In BenchmarkRepair, refused was reported as violations; the comment says which figures are means and which are sums. A worker of place is no machine but runs on one, as in jobs. MaxFailedWorkers said that only workers that could run the task count; the code checks no size.

--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -67,11 +67,15 @@
 	// worker may have received only an earlier end, never a later one.
 	leaseEnd clock.Millis
 	// proven is set once a task has succeeded or has run for the trial time.
-	proven        bool
+	proven bool
+	// score is the sum of the scores of its runs, as HealthPolicy describes. The
+	// end of a quarantine by time sets it to half of the threshold.
 	score         float64
 	failuresInRow int
 	quarantinedAt clock.Millis
-	reservedFor   *task
+	// reservedFor is the task for which capacity is being freed on the worker; nil
+	// for none.
+	reservedFor *task
 }
 
 // task is a Task with its scheduling state.
@@ -93,7 +97,9 @@
 	disrupted bool
 	cancelled bool
 	// queued is set while the task is in the heap of its customer.
-	queued     bool
+	queued bool
+	// reservedOn is the worker on which capacity is being freed for the task; nil
+	// for none. failedOn lists the workers on which a run of the task has failed.
 	reservedOn *worker
 	failedOn   []WorkerID
 	// scores holds, for each worker, the sum of the scores of the task's
@@ -101,8 +107,8 @@
 	scores map[WorkerID]float64
 }
 
-// timer is a time at which a worker or a task has to be checked again. A timer
-// without a worker and a task only causes a pass.
+// timer is a time at which a worker or a task has to be checked again. A timer with
+// neither a worker nor a task only causes a pass.
 type timer struct {
 	at     clock.Millis
 	worker WorkerID
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -9,7 +9,7 @@
 type (
 	// TaskID is the name of a task.
 	TaskID string
-	// WorkerID is the name of a machine that runs tasks.
+	// WorkerID is the name of a worker, which runs tasks on a machine.
 	WorkerID string
 	// Size is an amount of processors, memory and accelerators.
 	Size = model.Quota
@@ -40,8 +40,8 @@
 	// to have a common cause outside the workers.
 	MaxQuarantinedPercent int
 	// MaxFailedWorkers is the number of different workers on which a task fails
-	// until it is given up; at least 1. A task that failed on every worker that
-	// could run it is given up earlier.
+	// until it is given up; at least 1. A task that failed on every worker that is
+	// neither draining nor quarantined is given up earlier.
 	MaxFailedWorkers int
 	// Lookahead is the largest number of a customer's waiting tasks, including
 	// the first one, that are tried until one can start; at least 1.
@@ -104,7 +104,8 @@
 	PhaseFinished
 )
 
-// Worker is a machine that runs tasks.
+// Worker describes a worker, which runs tasks on a machine. Zone and Rack say where
+// the machine is, and Size is what the worker has for tasks, whether free or in use.
 type Worker struct {
 	ID   WorkerID
 	Zone model.Zone
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -16,11 +16,12 @@
 	sizes  []int
 }{{"pruefkette", model.DomainRack, []int{8, 9, 8, 8, 9}}, {"pomar-alto", model.DomainZone, []int{8, 8, 9, 9, 8}}}
 
-// BenchmarkRepair reports moves, idle instances, and missing and exposed instances
-// for four assignments: the first one, one after the loss of a rack, one after the
-// loss of one more instance, and one after the return of all. All but the
-// violations are means over 20 seeds. The moves of the first assignment do not
-// count; idle instances are the mean over the four assignments.
+// BenchmarkRepair makes four assignments: the first one, one after the loss of a
+// rack, one after the loss of one more instance, and one after the return of all.
+// It reports, as means over 20 seeds: the sum of the moves of all assignments but
+// the first, the mean of the idle instances over the four assignments, and the sums
+// of the missing and of the exposed instances over the four assignments. The
+// violations are the sum over all assignments and seeds.
 func BenchmarkRepair(b *testing.B) {
 	for _, f := range fleets {
 		benchmarkRepair(b, f.name+"/first-name", FirstByName{}, f.covers, f.sizes)
@@ -32,14 +33,14 @@
 func benchmarkRepair[P Policy](b *testing.B, name string, policy P, covers model.FailureDomain, sizes []int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 20
-		var moves, idle, missing, exposed, refused float64
+		var moves, idle, missing, exposed, violations float64
 		for b.Loop() {
-			moves, idle, missing, exposed, refused = 0, 0, 0, 0, 0
+			moves, idle, missing, exposed, violations = 0, 0, 0, 0, 0
 			for seed := range uint64(seeds) {
 				h := newFleetHarness(seed, 54, 3, userContracts(covers, 8, sizes...))
 				settle := func() {
 					a := AssignFromIndex(policy, Settings{MaxExchangeMoves: 8}, h.index, nil)
-					refused += float64(h.startMoves(a.Moves) + h.finishMoves())
+					violations += float64(h.startMoves(a.Moves) + h.finishMoves())
 					m, e := missingCounts(a)
 					missing, exposed, idle = missing+float64(m), exposed+float64(e), idle+float64(a.Idle)/4
 				}
@@ -60,11 +61,12 @@
 		b.ReportMetric(idle/seeds, "idle-inst")
 		b.ReportMetric(missing/seeds, "missing-inst")
 		b.ReportMetric(exposed/seeds, "exposed-inst")
-		b.ReportMetric(refused, "violations")
+		b.ReportMetric(violations, "violations")
 	})
 }
 
-// BenchmarkGap reports how far each policy is from the optimum on tiny fleets.
+// BenchmarkGap reports by how much the outcome of each policy differs from the
+// optimum on tiny fleets, as means over 12 seeds.
 func BenchmarkGap(b *testing.B) {
 	benchmarkGap(b, "first-name", FirstByName{})
 	benchmarkGap(b, "spread", Spread{})
@@ -74,19 +76,19 @@
 func benchmarkGap[P Policy](b *testing.B, name string, policy P) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 12
-		var sum [3]float64
+		var mean [3]float64
 		for b.Loop() {
-			sum = [3]float64{}
+			mean = [3]float64{}
 			for seed := range uint64(seeds) {
 				got, best := outcomeAndOptimum(policy, seed)
-				for k := range sum {
-					sum[k] += float64(got[k]-best[k]) / seeds
+				for k := range mean {
+					mean[k] += float64(got[k]-best[k]) / seeds
 				}
 			}
 		}
-		b.ReportMetric(sum[0], "missing-gap")
-		b.ReportMetric(sum[1], "exposed-gap")
-		b.ReportMetric(sum[2], "moves-gap")
+		b.ReportMetric(mean[0], "missing-gap")
+		b.ReportMetric(mean[1], "exposed-gap")
+		b.ReportMetric(mean[2], "moves-gap")
 	})
 }
 
--- a/core/state/plan/input.go
+++ b/core/state/plan/input.go
@@ -12,8 +12,8 @@
 	MaxExchangeMoves int
 }
 
-// Extra grants Pool Count instances more than contracts promise to it, and lowers
-// the number that the pool From should have by as many.
+// Extra raises the number of instances that Pool should have by Count, above what
+// contracts promise to it. It lowers the number that From should have by as many.
 type Extra struct {
 	Pool  Pool
 	From  Pool
