Reword what had to be read twice in sched, jobs, place, plan and lend

Target plus path multiplied by stretch could be read as a product of the sum. refusedBackoff, HandleRecall, worstLoss, shortPools and machinesForUnplacedTasks hid which case means what. replyTime did not say that it answers earlier while best-effort tasks may have to be throttled. score.free has no unit: freeMilliCores. In the benchmark of place, sum held means, a maximum and a sum: summary; the units of its fields are stated.

--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -85,8 +85,8 @@
 	// MaxAttempts is the number of failed runs of one task after which the job
 	// fails; at least 1.
 	MaxAttempts int
-	// Target and StretchPermille define the time that a job may take: Target
-	// plus the length of its critical path multiplied by StretchPermille/1000.
+	// Target and StretchPermille define the time that a job may take: the sum of
+	// Target and of StretchPermille/1000 times the length of its critical path.
 	Target          clock.Millis
 	StretchPermille int
 	// Advice is the zero value for a queue whose tasks may run on any worker of
--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -15,13 +15,12 @@
 	leaseMarginDivisor = 10
 	// retryAfter is the delay before a recall or a return is sent again. A lender
 	// that did not respond to a loan request gets no other loan request or return
-	// for half of it.
+	// for retryAfter/2.
 	retryAfter clock.Millis = 500
-	// refusedBackoff is how long a lender that granted nothing is not asked again
-	// for slots of the pool, and how long one whose response to a request for
-	// slots was lost or ignored is not asked for slots of any pool. faultyBackoff
-	// is how long a lender is not asked for slots after failed requests ended one
-	// of its loans.
+	// refusedBackoff is how long a lender is not asked for slots: for those of one
+	// pool after it granted none there, and for those of any pool after its
+	// response to a request for slots was lost or ignored. faultyBackoff is how
+	// long it is not asked for slots after failed requests ended one of its loans.
 	refusedBackoff = clock.Second
 	faultyBackoff  = 5 * clock.Second
 	// maxFailures is the number of consecutive failed requests that end a loan.
@@ -181,8 +180,8 @@
 }
 
 // HandleRecall ends the held loans that earlier runs of the lender granted. It
-// reports whether none of them is left. A loan is left until it was returned, which
-// includes that its connections are closed, or has expired at the lender.
+// reports whether none of them is left. A loan counts as left until its connections
+// are closed and it has been returned, or until it has expired at the lender.
 func (l *Ledger[P]) HandleRecall(r Recall) (noneLeft bool) {
 	if from := l.lenders[r.Lender]; from != nil {
 		from.incarnation = r.Incarnation
--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -30,32 +30,35 @@
 	}
 }
 
+// placementResult holds the figures of one run, or a summary of several. urgent is
+// the longest wait of an urgent task. seconds and urgent are in seconds, idle and
+// overload in core-seconds, and the others are counts.
 type placementResult struct{ seconds, idle, overload, disruptions, starts, urgent, violations float64 }
 
 func benchmarkPlacement[F FitPolicy, S Sizer](b *testing.B, name string, fit F, sizer func() S, milliCores int) {
 	b.Run(name, func(b *testing.B) {
 		const seeds = 3
-		var sum placementResult
+		var summary placementResult
 		for b.Loop() {
-			sum = placementResult{}
+			summary = placementResult{}
 			for seed := range uint64(seeds) {
 				one := placeAll(fit, sizer(), seed, milliCores)
-				sum.seconds += one.seconds / seeds
-				sum.idle += one.idle / seeds
-				sum.overload += one.overload / seeds
-				sum.disruptions += one.disruptions / seeds
-				sum.starts += one.starts / seeds
-				sum.urgent = max(sum.urgent, one.urgent)
-				sum.violations += one.violations
+				summary.seconds += one.seconds / seeds
+				summary.idle += one.idle / seeds
+				summary.overload += one.overload / seeds
+				summary.disruptions += one.disruptions / seeds
+				summary.starts += one.starts / seeds
+				summary.urgent = max(summary.urgent, one.urgent)
+				summary.violations += one.violations
 			}
 		}
-		b.ReportMetric(sum.seconds, "rollout-s")
-		b.ReportMetric(sum.idle, "idle-core-s")
-		b.ReportMetric(sum.overload, "over-core-s")
-		b.ReportMetric(sum.disruptions, "disruptions")
-		b.ReportMetric(sum.starts, "starts")
-		b.ReportMetric(sum.urgent, "urgent-wait-max-s")
-		b.ReportMetric(sum.violations, "violations")
+		b.ReportMetric(summary.seconds, "rollout-s")
+		b.ReportMetric(summary.idle, "idle-core-s")
+		b.ReportMetric(summary.overload, "over-core-s")
+		b.ReportMetric(summary.disruptions, "disruptions")
+		b.ReportMetric(summary.starts, "starts")
+		b.ReportMetric(summary.urgent, "urgent-wait-max-s")
+		b.ReportMetric(summary.violations, "violations")
 	})
 }
 
@@ -103,6 +106,7 @@
 		Execute(f, plan.Actions)
 		usedBefore := f.usedCores
 		advanceTime(f, placer, 500)
+		// A step takes half a second.
 		for _, w := range placer.workers {
 			result.idle += float64(w.used.MilliCores) / 2000
 		}
--- a/core/state/plan/assign.go
+++ b/core/state/plan/assign.go
@@ -27,9 +27,9 @@
 	to   Pool
 }
 
-// shortPools lists the spare pools, or the other pools, that lack instances:
-// those that lack most first, so that the most affected pool is served first if
-// there are not enough instances for all.
+// shortPools lists the pools that lack instances: only spare pools if spare is
+// true, and only other pools if not. Those that lack most come first, so that the
+// most affected pool is served first if there are not enough instances for all.
 func (d *draft[P]) shortPools(spare bool) []Pool {
 	pools := slices.DeleteFunc(slices.Sorted(maps.Keys(d.counts.required)), func(p Pool) bool {
 		return d.counts.spares[p] != spare || d.counts.surplus(p) >= 0
--- a/core/state/plan/counts.go
+++ b/core/state/plan/counts.go
@@ -298,8 +298,8 @@
 	return max(0, n)
 }
 
-// worstLoss returns the name of the failure domain of the given kind whose loss
-// leaves the most promised instances missing, and their number.
+// worstLoss returns the number of promised instances that the loss of one failure
+// domain of the given kind leaves missing at most, and the name of that domain.
 func (c *counts) worstLoss(g *group, kind model.FailureDomain) (n int, name string) {
 	top, name := g.exposure[kind].max()
 	if g.spare != "" {
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -352,7 +352,9 @@
 
 // replyTime returns when a worker's heartbeat must be answered. It is answered
 // immediately if a task of the worker may end soon, because the worker can
-// report the end only after the reply.
+// report the end only after the reply. The delay is at most speedPeriodMillis
+// while best-effort tasks run next to a serving task whose tail latency is above
+// fastTailPermille of its target, because their speed may have to change.
 func (s *Scheduler[P, H]) replyTime(w *worker, now clock.Millis) clock.Millis {
 	if w.heartbeat.urgent || len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0 {
 		return now
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -189,23 +189,24 @@
 	// spreadCost is the cost of placing a long-running task near tasks that it
 	// should be kept apart from; see the method of the same name.
 	spreadCost int
-	// free is the number of free milli-cores. Workers with fewer are preferred,
-	// so that other workers become idle and their machines can be moved or
-	// powered off.
-	free int
+	// freeMilliCores is the free part of the worker's processors. Workers with
+	// less are preferred, so that other workers become idle and their machines
+	// can be moved or powered off.
+	freeMilliCores int
 	// id breaks ties.
 	id jobs.WorkerID
 }
 
+// better reports whether a worker with score s is preferred to one with score t.
 func (s score) better(t score) bool {
 	if s.nearData != t.nearData {
 		return s.nearData
 	}
-	return cmp.Or(cmp.Compare(t.spreadCost, s.spreadCost), cmp.Compare(t.free, s.free), cmp.Compare(t.id, s.id)) > 0
+	return cmp.Or(cmp.Compare(t.spreadCost, s.spreadCost), cmp.Compare(t.freeMilliCores, s.freeMilliCores), cmp.Compare(t.id, s.id)) > 0
 }
 
 func (s *Scheduler[P, H]) scoreWorker(w *worker, g *taskGroup) score {
-	result := score{free: w.capacity.MilliCores - w.used.MilliCores, id: w.id}
+	result := score{freeMilliCores: w.capacity.MilliCores - w.used.MilliCores, id: w.id}
 	result.nearData = g.step.DataRack != "" && g.step.DataRack == w.rack
 	if g.step.LongRunning {
 		result.spreadCost = s.spreadCost(w, g)
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -298,8 +298,9 @@
 }
 
 // machinesForUnplacedTasks returns the number of additional machines that the
-// pool needs for long-running tasks which no available worker could take,
-// mostly because their step limits the tasks on one worker.
+// pool needs for long-running tasks that no available worker could take. The
+// usual cause is a limit on the tasks of a step on one worker. If several steps
+// wait, the one that needs the most machines counts.
 func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
 	n := 0
 	for _, g := range p.groups {
