--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -175,10 +175,10 @@
 // time to complete the wave deadlineMarginMillis before its deadline, from 1 to
 // MaxDown.
 func (s *Scheduler[P, H]) requiredParallelism(v *wave, now clock.Millis) int {
-	remaining := clock.Millis(len(v.Machines) - len(v.Started))
+	remainingMachines := clock.Millis(len(v.Machines) - len(v.Started))
 	perMachine := s.settings.MaintenanceMillis + s.settings.MaxReplyDelayMillis
 	timeLeft := max(v.Deadline-deadlineMarginMillis-now, perMachine)
-	return int(min(max((remaining*perMachine+timeLeft-1)/timeLeft, 1), clock.Millis(v.MaxDown)))
+	return int(min(max((remainingMachines*perMachine+timeLeft-1)/timeLeft, 1), clock.Millis(v.MaxDown)))
 }
 
 // disruptionCost ranks the machines for maintenance, the lowest cost first. The
