Say which platform and which requests package stand means

The platform of package stand was mistaken for the users' platform, and the summary and Run didn't say which upstreams and requests they count. The error for an answer of another request says that the ID is missing.

Checks: go build, go vet.

--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -17,7 +17,9 @@
 type Load struct {
 	// Entries lists the caller-facing addresses of the entry processes. The
 	// requests go to them in turn, as if through the platform's load balancer.
-	Entries  []string
+	Entries []string
+	// Service is the first segment of the requests' path, which is the name of a
+	// pool.
 	Service  string
 	Customer string
 	// Requests is the total number of requests, and Concurrency the maximum number
@@ -54,8 +56,9 @@
 	Counts map[string]int
 }
 
-// Run sends the requests and returns when all are answered. It sends no new
-// requests after ctx is done.
+// Run sends the requests and returns when each request that was sent has an Answer.
+// When ctx is done, it sends no new requests and cancels those in flight. The Err of
+// their answers wraps the error of ctx, such as context.Canceled.
 func (l Load) Run(ctx context.Context) Summary {
 	client := &http.Client{
 		Timeout:   l.Timeout,
@@ -143,7 +146,7 @@
 	body, err := io.ReadAll(resp.Body)
 	a.Status, a.Outcome = resp.StatusCode, resp.Header.Get("Camphorridge-Outcome")
 	if err == nil && a.Status == http.StatusOK && !strings.Contains(string(body), " "+a.ID+" ") {
-		err = fmt.Errorf("the answer to %s is %q", a.ID, body)
+		err = fmt.Errorf("the body of the answer to %s lacks its ID: %q", a.ID, body)
 	}
 	a.Err = err
 	return a
--- a/internal/stand/network.go
+++ b/internal/stand/network.go
@@ -12,9 +12,10 @@
 // closed, no other run that claims with the same port gets the network. ClaimNetwork
 // returns an error if all networks are claimed.
 func ClaimNetwork(port int) (octet int, claim net.Listener, err error) {
-	const tries = 200
-	for i := range tries {
-		octet = 10 + (os.Getpid()+i)%tries
+	// The second byte of the networks is from 10 to 209.
+	const networkCount = 200
+	for i := range networkCount {
+		octet = 10 + (os.Getpid()+i)%networkCount
 		claim, err = net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", octet, port))
 		if err == nil {
 			return octet, claim, nil
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -17,15 +17,17 @@
 // drained instance has none.
 const rebootGrace = 5 * time.Second
 
-// Platform is a stand-in for the platform. It runs stand-in upstreams in this
-// process and reboots them on request.
+// Platform is a stand-in for the platform that runs instances and reboots them. It
+// runs stand-in upstreams in this process and reboots them on request. It has nothing
+// to do with the users' platform that package platform connects to and whose stand-in
+// is in that package's tests.
 type Platform struct {
 	// RebootTime is how long an instance is down during a reboot.
 	RebootTime time.Duration
 	mu         sync.Mutex
 	// upstreams holds the running upstream of each instance.
 	upstreams map[string]*Upstream
-	// reboots holds the number of reboots of each instance.
+	// reboots holds the number of started reboots of each instance.
 	reboots map[string]int
 	// history holds the requests that stopped upstreams have handled.
 	history    []HandledRequest
@@ -106,7 +108,7 @@
 	return out
 }
 
-// Reboots returns the number of reboots of an instance.
+// Reboots returns the number of started reboots of an instance.
 func (p *Platform) Reboots(instance string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -124,8 +126,8 @@
 	p.saveRequests(u)
 }
 
-// Start starts an upstream that is down, with a higher incarnation than before, as
-// after a repair.
+// Start starts an upstream whose instance is down, as after a repair. Its incarnation
+// is its start time, and so higher than before.
 func (p *Platform) Start(o Options) error {
 	u, err := Start(o)
 	if err != nil {
@@ -174,7 +176,8 @@
 }
 
 // reboot stops an upstream, waits for RebootTime, and starts it again at the same
-// address and in the pool that it served last.
+// address and in the pool that it served last. If the start fails, the instance stays
+// down.
 func (p *Platform) reboot(u *Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), rebootGrace)
 	defer cancel()
@@ -205,7 +208,8 @@
 }
 
 // handleSummary writes the number of requests by pool, the largest number of
-// concurrent requests on one instance, and the number of reboots.
+// requests that ran at the same time on one instance, and the number of reboots. The
+// second counts only upstreams that are up, since their last start.
 func (p *Platform) handleSummary(w http.ResponseWriter, _ *http.Request) {
 	counts := map[string]int{}
 	for _, r := range p.HandledRequests() {
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -49,10 +49,11 @@
 // HandledRequest is one request that a stand-in upstream handles or has handled.
 type HandledRequest struct {
 	// Seq is the number of requests that the upstream recorded before this one.
-	Seq      int
-	ID       string
-	Method   string
-	Path     string
+	Seq    int
+	ID     string
+	Method string
+	Path   string
+	// Pool is the first segment of Path, which names the pool that the request is for.
 	Pool     string
 	Instance string
 	// Entry is the value of the request's header Camphorridge-Entry.
@@ -105,7 +106,8 @@
 }
 
 // Start starts a stand-in upstream, which serves and announces itself until it is
-// closed. It returns an error if it can't listen on the address.
+// closed. Its incarnation is its start time. Start returns an error if it can't listen
+// on the address.
 func Start(o Options) (*Upstream, error) {
 	if o.Address == "" {
 		o.Address = "127.0.0.1:0"
@@ -184,7 +186,8 @@
 	return append([]HandledRequest(nil), u.requests...)
 }
 
-// MaxRunning returns the largest number of requests that ran at the same time.
+// MaxRunning returns the largest number of requests that ran at the same time since
+// the start of the upstream.
 func (u *Upstream) MaxRunning() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -229,7 +232,7 @@
 	return len(u.requests) - 1
 }
 
-// recordEnd records the end of a request.
+// recordEnd records the end of the request at the index seq of requests.
 func (u *Upstream) recordEnd(seq int, finished bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
