--- a/tests/control_test.go
+++ b/tests/control_test.go
@@ -85,14 +85,15 @@
 		close(answers)
 		assert.Assert(t, len(answers) > 0, "no query was answered after the process continued")
 		for out := range answers {
-			held, err := parseDeclarations(out)
+			listed, err := parseDeclarations(out)
 			assert.NilError(t, err)
-			assert.Assert(t, held[name].Version > 0, "the list of maintenance lacks the accepted declaration %s", name)
+			assert.Assert(t, listed[name].Version > 0, "the list of maintenance lacks the accepted declaration %s", name)
 		}
 		s.waitCaughtUp(old)
 	}
-	held := s.declarations()
-	assert.Equal(t, len(held), 4, "%v", held)
+	listed := s.declarations()
+	// Each of the two rounds declared "warm-" and its own name.
+	assert.Equal(t, len(listed), 4, "%v", listed)
 }
 
 // TestRestartAfterManyChanges guards against changes that are lost when all
--- a/tests/lend_test.go
+++ b/tests/lend_test.go
@@ -69,7 +69,7 @@
 	}
 	t.Logf("ran: %v", ran)
 	assert.Assert(t, ran["spillmerge-"] > 100, "%v", ran)
-	assert.Assert(t, s.maxRunning() <= 8, "an upstream ran %d requests at the same time", s.maxRunning())
+	assert.Assert(t, s.maxRunning() <= 8, "an upstream ran %d requests at the same time, but has 8 slots", s.maxRunning())
 
 	h := http.Header{stand.IDHeader: {"long"}, stand.DelayHeader: {"3000"}, "Camphorridge-Timeout-Ms": {"20000"}}
 	done := make(chan error, 1)
@@ -128,7 +128,7 @@
 				l.entrySettings = fmt.Sprintf("[lending]\nlease-ms = %d\n", leaseMillis)
 				for b.Loop() {
 					s := startSystem(b, l)
-					// This concurrency is so high that only the slots limit the load.
+					// The contract's concurrency is so high that only the slots limit the load.
 					s.concurrency = 224
 					s.applyContract("acme", 4, "merge")
 					s.waitReady()
--- a/tests/maintenance_test.go
+++ b/tests/maintenance_test.go
@@ -15,12 +15,15 @@
 	"camphorridge/internal/stand"
 )
 
-// watchDisruption polls the instances until stop is closed. It sends a message to
+// watchDisruption polls the instances until stop is closed, and sends a message to
 // violations for each violation of the disruption budget, which allows one instance
-// out of service at a time.
+// out of service at a time. Instances in the phases releasing and maintenance are out
+// of service. There are two kinds of violation: more than one instance is out of
+// service, or an instance is taken out of service although an instance is lost in
+// this poll and was lost in the previous one.
 func (s *system) watchDisruption(stop <-chan struct{}, violations chan<- string) {
 	defer close(violations)
-	var before []string
+	var outBefore []string
 	lostBefore := false
 	for {
 		select {
@@ -44,11 +47,11 @@
 			violations <- fmt.Sprintf("%v are out of service at the same time", out)
 		}
 		for _, id := range out {
-			if lost && lostBefore && !slices.Contains(before, id) {
-				violations <- fmt.Sprintf("%s was taken out of service while another instance was lost", id)
+			if lost && lostBefore && !slices.Contains(outBefore, id) {
+				violations <- fmt.Sprintf("%s was taken out of service while an instance was lost", id)
 			}
 		}
-		before, lostBefore = out, lost
+		outBefore, lostBefore = out, lost
 	}
 }
 
@@ -81,7 +84,7 @@
 	s.retryCLI("maintenance", "declare", "all", "--pool", "merge", "--deadline", "1h", "--author", "test")
 	waitMaintained := func(n int) {
 		t.Helper()
-		s.wait(fmt.Sprintf("%d maintained instances", n), func() bool { return s.declarations()["all"].Maintained >= n })
+		s.wait(fmt.Sprintf("%d maintained instances", n), func() bool { return s.declarations()["all"].MaintainedCount >= n })
 	}
 	waitMaintained(1)
 	leader := s.leader()
@@ -106,18 +109,21 @@
 	waitMaintained(6)
 	finish()
 	cancel()
+	// The index 3 is that of e4, which is in zone zb like the killed upstream.
 	s.checkAnswers(<-sums, "zb-i00", 3)
 	for _, i := range s.instances() {
 		assert.Equal(t, i.Phase, "serving", "%s", i.Instance)
-		assert.Assert(t, i.Maintained >= s.declarations()["all"].Declared, "%s", i.Instance)
+		assert.Assert(t, i.MaintainedAt >= s.declarations()["all"].DeclaredAt, "%s", i.Instance)
 	}
 }
 
-// checkAnswers compares the answers of a load with the requests that the
-// upstreams handled. Only requests on the killed upstream, or through the killed
-// entry process, may have been cut off. upstream is the instance of the former, and
-// entry the index of the latter.
-func (s *system) checkAnswers(sum stand.Summary, upstream string, entry int) {
+// checkAnswers compares the answers of a load with the requests that the upstreams
+// handled. Only requests on the killed upstream, or through the killed entry process,
+// may have been cut off: killedInstance and s.entries[killedEntryIndex], which are
+// both in zone zb. Only entry processes of that zone may answer that the outcome is
+// unknown, and only for a request that no upstream handled or that ran on the killed
+// one.
+func (s *system) checkAnswers(sum stand.Summary, killedInstance string, killedEntryIndex int) {
 	s.t.Helper()
 	ran := map[string][]string{}
 	for _, r := range s.handledRequests() {
@@ -133,13 +139,13 @@
 		through := s.entries[n%len(s.entries)]
 		switch {
 		case a.Err != nil:
-			assert.Equal(s.t, n%len(s.entries), entry, "%s through %s was cut off: %v", a.ID, through.name, a.Err)
+			assert.Equal(s.t, n%len(s.entries), killedEntryIndex, "%s through %s was cut off: %v", a.ID, through.name, a.Err)
 		case a.Outcome == "ran":
 			assert.Equal(s.t, len(ran[a.ID]), 1, "%s ran on %v", a.ID, ran[a.ID])
 		case a.Outcome == "not-run":
 			assert.Equal(s.t, len(ran[a.ID]), 0, "%s was refused but ran on %v", a.ID, ran[a.ID])
 		default:
-			expected := through.zone == "zb" && (len(ran[a.ID]) == 0 || ran[a.ID][0] == upstream)
+			expected := through.zone == "zb" && (len(ran[a.ID]) == 0 || ran[a.ID][0] == killedInstance)
 			assert.Assert(s.t, expected, "%s through %s ended with status %d and outcome %s, and ran on %v", a.ID, through.name, a.Status, a.Outcome, ran[a.ID])
 		}
 	}
--- a/tests/once_test.go
+++ b/tests/once_test.go
@@ -65,7 +65,7 @@
 			status, _, body, err := call(t, entry, "merge", http.Header{stand.IDHeader: {id}, stand.DelayHeader: {"30"}})
 			assert.NilError(t, err)
 			assert.Equal(t, status, http.StatusOK)
-			assert.Assert(t, strings.Contains(body, " "+id+" "), "the answer to %s is %q", id, body)
+			assert.Assert(t, strings.Contains(body, " "+id+" "), "the body of the answer to %s lacks its ID: %q", id, body)
 		}
 	}
 }
--- a/tests/request_test.go
+++ b/tests/request_test.go
@@ -271,7 +271,7 @@
 	for zone, platform := range s.platforms {
 		for i := range l.upstreams[zone] {
 			u := platform.Upstream(fmt.Sprintf("%s-i%02d", zone, i))
-			assert.Assert(t, u.MaxRunning() <= 8, "%s ran %d requests at the same time", u.Instance, u.MaxRunning())
+			assert.Assert(t, u.MaxRunning() <= 8, "%s ran %d requests at the same time, but has 8 slots", u.Instance, u.MaxRunning())
 		}
 	}
 }
--- a/tests/silent_test.go
+++ b/tests/silent_test.go
@@ -10,8 +10,8 @@
 	"camphorridge/internal/stand"
 )
 
-// TestSilentConnections guards against a pooled connection that has stopped
-// delivering data, but is used for one request after the other, while new
+// TestSilentConnections guards against a kept-alive connection to an upstream that
+// has stopped delivering data, but is used for one request after the other, while new
 // connections work.
 func TestSilentConnections(t *testing.T) {
 	s := startSystem(t, layout{controls: []string{"za"}, entries: []string{"za"}})
@@ -50,6 +50,9 @@
 				failed++
 			}
 		}
-		assert.Assert(t, failed <= 1, "%d of 6 requests failed in round %d", failed, round)
+		// One request may time out on the silent connection. The entry process must then
+		// close its idle connections to the upstream, so that the next request uses a new
+		// one.
+		assert.Assert(t, failed <= 1, "%d of 6 requests failed in round %d, which is more than one", failed, round)
 	}
 }
--- a/tests/surge_test.go
+++ b/tests/surge_test.go
@@ -90,11 +90,11 @@
 	busyUntil := map[string]clock.Millis{}
 	for _, p := range s.platforms {
 		for _, r := range p.HandledRequests() {
-			before, ok := lastRun[r.Instance]
-			if ok && before.Pool != r.Pool {
+			previous, ok := lastRun[r.Instance]
+			if ok && previous.Pool != r.Pool {
 				moves++
 				assert.Assert(s.t, r.Started >= busyUntil[r.Instance],
-					"instance %s started request %s of pool %s while it ran requests of pool %s", r.Instance, r.ID, r.Pool, before.Pool)
+					"instance %s started request %s of pool %s while it ran requests of pool %s", r.Instance, r.ID, r.Pool, previous.Pool)
 			}
 			lastRun[r.Instance] = r
 			busyUntil[r.Instance] = max(busyUntil[r.Instance], r.Ended)
--- a/tests/system_test.go
+++ b/tests/system_test.go
@@ -106,7 +106,8 @@
 
 // threeZones returns a layout of three zones, with one control process per zone and
 // seven entry processes in all. Each zone has one instance for each of the given
-// pools.
+// pools: threeZones("merge", "merge") has two instances of the pool merge in each
+// zone, six in all.
 func threeZones(pools ...string) layout {
 	return layout{
 		controls:        []string{"za", "zb", "zc"},
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -11,7 +11,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// The fields that the tests read of the JSON that the command line prints.
+// The fields that the tests read of the JSON that the command line prints. Times are
+// in milliseconds since the epoch.
 type (
 	statusView struct {
 		Leader    string        `json:"leader"`
@@ -25,19 +26,21 @@
 		Silent  bool   `json:"silent"`
 	}
 	instanceView struct {
-		Instance   string `json:"instance"`
-		Pool       string `json:"pool"`
-		Phase      string `json:"phase"`
-		Reason     string `json:"reason"`
-		Maintained int64  `json:"maintained-ms"`
-		Since      int64  `json:"since-ms"`
+		Instance     string `json:"instance"`
+		Pool         string `json:"pool"`
+		Phase        string `json:"phase"`
+		Reason       string `json:"reason"`
+		MaintainedAt int64  `json:"maintained-ms"`
+		Since        int64  `json:"since-ms"`
 	}
+	// declarationView is declared maintenance. Selected is the number of instances
+	// that it selects, and MaintainedCount the number of those that are done.
 	declarationView struct {
-		Name       string `json:"name"`
-		Declared   int64  `json:"declared-ms"`
-		Selected   int    `json:"selected"`
-		Maintained int    `json:"maintained"`
-		Version    uint64 `json:"version"`
+		Name            string `json:"name"`
+		DeclaredAt      int64  `json:"declared-ms"`
+		Selected        int    `json:"selected"`
+		MaintainedCount int    `json:"maintained"`
+		Version         uint64 `json:"version"`
 	}
 )
 
@@ -161,15 +164,15 @@
 }
 
 // startDeclaring declares maintenance in the background until stop is closed or
-// n declarations are done. It returns the results, and a group to wait for the
+// n declarations are done. The parameter senders is the number of concurrent senders. It returns the results, and a group to wait for the
 // end. A declaration without an answer is sent again with the same request ID, as
 // operators do. A refusal, a conflict, and no answer within waitTimeout count as
 // failures.
-func (s *system) startDeclaring(prefix string, workers, n int, stop <-chan struct{}) (*declarationResults, *sync.WaitGroup) {
+func (s *system) startDeclaring(prefix string, senders, n int, stop <-chan struct{}) (*declarationResults, *sync.WaitGroup) {
 	r := &declarationResults{accepted: map[string]uint64{}}
 	var next atomic.Int64
 	var wg sync.WaitGroup
-	for range workers {
+	for range senders {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
