--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,13 +28,13 @@
 // loadFlags are the flags of the subcommand load.
 type loadFlags struct {
 	entries, service, customer, pause, timeout, prefix string
-	requests, workers                                  int
-	keyed                                              bool
+	requests, concurrency                              int
+	idempotencyKeys                                    bool
 }
 
 func main() {
 	up := upstreamFlags{delay: "5ms", reboot: "500ms", platform: "127.0.0.1:0"}
-	ld := loadFlags{requests: 100, workers: 8, pause: "0s", timeout: "5s"}
+	ld := loadFlags{requests: 100, concurrency: 8, pause: "0s", timeout: "5s"}
 	upCmd := flaggy.NewSubcommand("upstreams")
 	upCmd.Description = "run stand-in upstreams and their platform"
 	upCmd.String(&up.zone, "", "zone", "availability zone")
@@ -52,8 +52,8 @@
 	ldCmd.String(&ld.timeout, "", "timeout", "timeout of one request")
 	ldCmd.String(&ld.prefix, "", "prefix", "prefix of the IDs of requests")
 	ldCmd.Int(&ld.requests, "", "requests", "number of requests")
-	ldCmd.Int(&ld.workers, "", "workers", "maximum number of requests in flight at the same time")
-	ldCmd.Bool(&ld.keyed, "", "keyed", "give each request an idempotency key")
+	ldCmd.Int(&ld.concurrency, "", "workers", "maximum number of requests in flight at the same time")
+	ldCmd.Bool(&ld.idempotencyKeys, "", "keyed", "give each request an idempotency key")
 	flaggy.SetName("standin")
 	flaggy.AttachSubcommand(upCmd, 1)
 	flaggy.AttachSubcommand(ldCmd, 1)
@@ -123,7 +123,7 @@
 	}
 	l := stand.Load{
 		Entries: strings.Split(f.entries, ","), Service: f.service, Customer: f.customer,
-		Requests: f.requests, Concurrency: f.workers, IdempotencyKeys: f.keyed, Pause: pause,
+		Requests: f.requests, Concurrency: f.concurrency, IdempotencyKeys: f.idempotencyKeys, Pause: pause,
 		Timeout: timeout, Prefix: f.prefix,
 	}
 	fmt.Print(l.Run(ctx).String())
--- a/tests/silent_test.go
+++ b/tests/silent_test.go
@@ -51,8 +51,8 @@
 			}
 		}
 		// One request may time out on the silent connection. The entry process must then
-		// close its idle connections to the upstream, so that the next request uses a new
-		// one.
+		// close all idle connections to the upstream that have received no response since
+		// that request was sent, so that the next request uses a new one.
 		assert.Assert(t, failed <= 1, "%d of 6 requests failed in round %d, which is more than one", failed, round)
 	}
 }
--- a/tests/surge_test.go
+++ b/tests/surge_test.go
@@ -72,6 +72,7 @@
 	}
 	n := 0
 	for _, line := range strings.Split(out, "\n") {
+		// The fourth column is the pool, and the sixth the phase.
 		f := strings.Fields(line)
 		if len(f) > 5 && f[3] == pool && f[5] == "serving" {
 			n++
--- a/tests/table_test.go
+++ b/tests/table_test.go
@@ -42,7 +42,7 @@
 	s.t.Helper()
 	text := fmt.Sprintf("[contract]\ncustomer = acme\ncovers = instance\nqueue = %d\nretry-percent = 20\n[pool merge]\ninstances = %d\n"+
 		"[disruption]\nmax-unavailable = 1\nbudget-ms = 600000\nwindow-ms = 3600000\n", queue, instances)
-	out := s.retryCLI("contract", "apply", s.writeFile("changed.ini", text), "--author", "test")
+	out := s.retryCLI("contract", "apply", s.writeFile("retune.ini", text), "--author", "test")
 	var v uint64
 	_, err := fmt.Sscanf(out, "accepted at version %d", &v)
 	assert.NilError(s.t, err, "%s", out)
--- a/tests/view_test.go
+++ b/tests/view_test.go
@@ -34,7 +34,8 @@
 		Since        int64  `json:"since-ms"`
 	}
 	// declarationView is declared maintenance. Selected is the number of instances
-	// that it selects, and MaintainedCount the number of those that are done.
+	// that it selects, and MaintainedCount the number of those that have returned
+	// from it.
 	declarationView struct {
 		Name            string `json:"name"`
 		DeclaredAt      int64  `json:"declared-ms"`
