Say when runner answers with KindStale and what its times mean

KindStale was said to mean that a later heartbeat was received; it also stands for removed incarnations, newer workers on the machine and a heartbeat that was processed and then replaced. decidedAt is set after the commit: releasedAt. skew holds lastSkew, not the skew at that time. reset, retryAfter, reloadAt, observeCommit, waiting and failBatch named only some of their cases; lastSkew named a constant that doesn't exist.

--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -53,11 +53,14 @@
 	}
 	if !r.scheduler.Heartbeat(*h, now) {
 		r.counts.StaleHeartbeats++
+		// The reason names the usual case. The incarnation may also have been removed,
+		// or a newer worker may run on the machine.
 		reply <- heartbeatResult{err: failf("heartbeat", KindStale, "a later heartbeat of this worker was already received")}
 		return
 	}
 	if old, ok := r.waiting[h.Worker]; ok {
-		// The worker has given up on the earlier heartbeat.
+		// The worker has given up on the earlier heartbeat, which the scheduler has
+		// processed but not answered yet.
 		old.reply <- heartbeatResult{err: failf("heartbeat", KindStale, "replaced by a later heartbeat of this worker")}
 	}
 	r.waiting[h.Worker] = waitingHeartbeat{reply: reply, receivedAt: h.ReceivedAt}
@@ -217,10 +220,11 @@
 }
 
 // maySend reports whether an action may be sent: this process still leads in the
-// term of the decision, the decision is no older than maxActionAge, and the
-// machine was not suspended after the decision.
+// term of the decision, the action was released no longer than maxActionAge ago,
+// and the clock's skew differs by at most maxSkewChange from the one stored at the
+// release. A larger difference means that the machine may have been suspended.
 func (r *Runner[G, M, O, J]) maySend(a pendingAction) bool {
 	term, ok := r.group.Leads()
 	skew := r.clock.Skew() - a.skew
-	return ok && term == a.term && r.clock.Now()-a.decidedAt <= maxActionAge && -maxSkewChange <= skew && skew <= maxSkewChange
+	return ok && term == a.term && r.clock.Now()-a.releasedAt <= maxActionAge && -maxSkewChange <= skew && skew <= maxSkewChange
 }
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -16,18 +16,20 @@
 const (
 	// ringSize is the number of inputs that can wait.
 	ringSize = 4096
-	// commitTimeout is the limit for committing one batch. A leader that can't
-	// commit for this long has lost its quorum.
+	// commitTimeout is the limit for one commit, load or confirmation of the
+	// leadership. A leader that can't commit for this long has lost its quorum.
 	commitTimeout = 4 * clock.Second
 	// maxConfirmationAge is the age above which the leadership is confirmed
-	// again before a worker lease is granted.
+	// again before heartbeats are answered, because the answers may grant worker
+	// leases. It is also the delay between a failed commit and the next load of the
+	// state.
 	maxConfirmationAge clock.Millis = 300
 	// maxSkewChange is the change of the clock's skew above which the machine
 	// is assumed to have been suspended.
 	maxSkewChange clock.Millis = 200
 	// maxIdleTime is the longest time between two checks of the leadership.
 	maxIdleTime = clock.Second
-	// retryAfter is the retry delay given to callers that found no leader.
+	// retryAfter is the retry delay in all answers of kind AnswerUnavailable.
 	retryAfter clock.Millis = 500
 	// actionSenders is the number of goroutines that send actions to the platform.
 	actionSenders int = 4
@@ -39,8 +41,8 @@
 	// actionTimeout is the limit for sending one action to the platform, on top
 	// of the time that the action itself takes.
 	actionTimeout = 2 * clock.Second
-	// maxActionAge is the age above which a committed action is no longer sent,
-	// because it may conflict with actions of a later leader.
+	// maxActionAge is the time after its release above which a committed action is
+	// no longer sent, because it may conflict with actions of a later leader.
 	maxActionAge = clock.Second
 )
 
@@ -57,8 +59,9 @@
 	clock    clock.Clock
 	// notes receives explanations of decisions; it may be nil and must not block.
 	notes func([]sched.Note)
-	// observeCommit receives the duration of each commit; it may be nil and must
-	// not block.
+	// observeCommit receives the duration of each successful commit, load and
+	// confirmation of the leadership in the current term; it may be nil and must not
+	// block.
 	observeCommit func(clock.Millis)
 
 	in              *ring.Ring[input]
@@ -84,12 +87,13 @@
 	// 0 for none.
 	confirmedAt clock.Millis
 	// lastSkew is the clock's skew when it last changed by more than
-	// maxSkewChangeMillis.
+	// maxSkewChange.
 	lastSkew clock.Millis
-	// waiting holds the heartbeats that are not answered yet.
+	// waiting holds the latest heartbeat of each worker for which the scheduler has
+	// not made orders yet. A heartbeat with orders is part of a batch.
 	waiting map[jobs.WorkerID]waitingHeartbeat
 	// reloadAt is the time from which the state may be loaded again after a
-	// failed commit; it is maxConfirmationAge later.
+	// failed commit: maxConfirmationAge after the failure was handled.
 	reloadAt clock.Millis
 	// timer fires at wakeAt; nil for no timer.
 	timer  <-chan struct{}
@@ -112,10 +116,12 @@
 type pendingAction struct {
 	sched.Action
 	// term is the leader's term in which the action was decided.
-	term      uint64
-	decidedAt clock.Millis
-	// skew is the clock's skew at decidedAt. A suspension of the machine changes
-	// the skew, because the clock stands still during it.
+	term uint64
+	// releasedAt is the time at which the action was passed on for sending, after
+	// its batch was committed.
+	releasedAt clock.Millis
+	// skew is the value of lastSkew at releasedAt. A suspension of the machine
+	// changes the clock's skew, because the clock stands still during it.
 	skew clock.Millis
 }
 
@@ -300,7 +306,8 @@
 // detectSuspension discards the confirmation of the leadership after a
 // suspension of the machine: the clock stood still during it, so the
 // confirmation is older than it appears. A step of the wall clock can't be told
-// from a suspension; it costs one additional confirmation.
+// from a suspension; it costs one additional confirmation, and the actions that
+// wait to be sent are not sent (see maySend).
 func (r *Runner[G, M, O, J]) detectSuspension() {
 	skew := r.clock.Skew()
 	if d := skew - r.lastSkew; d > maxSkewChange || d < -maxSkewChange {
@@ -328,8 +335,9 @@
 	r.startCommit(&batch{load: true, term: term, startedAt: r.clock.Now()})
 }
 
-// reset discards the scheduler and the next batch, and answers all waiting
-// callers and workers with err.
+// reset discards the scheduler and the next batch. It fails the next batch with
+// KindNotLeader, because none of its operations was proposed, and answers the
+// heartbeats in waiting with err. A batch in flight is answered by handleCommit.
 func (r *Runner[G, M, O, J]) reset(err *Error) {
 	if r.scheduler != nil {
 		r.counts.Resets++
@@ -343,7 +351,9 @@
 	}
 }
 
-// failBatch sends the answers for a batch that was not committed.
+// failBatch sends the answers for a batch that is not known to be committed. Calls
+// get AnswerOutcomeUnknown if err has KindOutcomeUnknown or they are marked as
+// uncertain, and otherwise AnswerUnavailable.
 func (r *Runner[G, M, O, J]) failBatch(b *batch, err *Error) {
 	for _, a := range b.answers {
 		if err.Kind == KindOutcomeUnknown || a.uncertain {
@@ -449,7 +459,7 @@
 		o.waiter.reply <- heartbeatResult{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
 	}
 	for _, a := range b.actions {
-		if !r.actions.TryPut(pendingAction{Action: a, term: r.term, decidedAt: now, skew: r.lastSkew}) {
+		if !r.actions.TryPut(pendingAction{Action: a, term: r.term, releasedAt: now, skew: r.lastSkew}) {
 			r.scheduler.HandleOutcome(a, sched.Outcome{Answer: sched.AnswerRefusedForNow}, now)
 		}
 	}
--- a/core/coord/runner/runner_test.go
+++ b/core/coord/runner/runner_test.go
@@ -323,7 +323,7 @@
 }
 
 // TestHeldUpActionIsNotSent guards against an action that is sent long after
-// its decision because the process was suspended or slow: another process may
+// its release because the process was suspended or slow: another process may
 // have become leader and have sent actions for the same machine.
 func TestHeldUpActionIsNotSent(t *testing.T) {
 	const startTime = 100_000
@@ -343,7 +343,7 @@
 			r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 				Group: g, Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: fake.Clock(),
 			})
-			a := pendingAction{term: g.term, decidedAt: startTime, skew: fake.Clock().Skew()}
+			a := pendingAction{term: g.term, releasedAt: startTime, skew: fake.Clock().Skew()}
 			c.delay(fake, g)
 			assert.Equal(t, r.maySend(a), c.want)
 		})
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -17,14 +17,17 @@
 // The kinds of error.
 const (
 	// KindNotLeader means that this process is not the leader or has not loaded
-	// the state yet; nothing was done.
+	// the state yet, and that nothing was done. A heartbeat also gets it when the
+	// process stops; that heartbeat may have been handled.
 	KindNotLeader Kind = iota
 	// KindBusy means that the input ring is full; nothing was done.
 	KindBusy
 	// KindOutcomeUnknown means that the request may or may not have been carried out.
 	KindOutcomeUnknown
-	// KindStale means that the heartbeat was ignored because a later one of the
-	// same worker was received.
+	// KindStale means that the scheduler ignored the heartbeat as outdated (see
+	// sched.Scheduler.Heartbeat), or that a later heartbeat of the same worker
+	// arrived before this one was answered. In the second case the scheduler has
+	// processed the heartbeat.
 	KindStale
 )
 
@@ -197,7 +200,8 @@
 
 // Counts holds counters since the start of the process; they only grow.
 type Counts struct {
-	Heartbeats      int64
+	Heartbeats int64
+	// StaleHeartbeats counts the heartbeats that the scheduler ignored as outdated.
 	StaleHeartbeats int64
 	Calls           int64
 	// Batches counts the commits that were started, including loads and
@@ -207,7 +211,8 @@
 	// Resets counts how often the scheduler's state was discarded, together with
 	// the decisions that were not committed.
 	Resets int64
-	// RunsStarted, RunsLost and RunsFailed count runs of tasks.
+	// RunsStarted, RunsLost and RunsFailed count runs of tasks. They are counted
+	// before the commit, so they include decisions that were not committed.
 	RunsStarted int64
 	RunsLost    int64
 	RunsFailed  int64
