Say what the steps, waits and demands of mover cover

firstPerInstance also sorts and drops steps beyond MaxSteps: selectSteps. updateDemandTimes also sets the queue limit: completeDemands. holdingsOf did not say which instances count. propose and Invalidate took a failed proposal for one that was not applied. 'waits for operators' and 'that no entry process reports as absent' could be read in two ways.

--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -104,8 +104,8 @@
 	return steps, c.waits()
 }
 
-// waits returns the shortfalls of the last assignment and the current reactions to
-// surges as waits for operators.
+// waits returns a Wait, which operators see in the Status, for each shortfall of the
+// last assignment and each current reaction to a surge.
 func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
 	for _, s := range c.lastAssignment.Shortfalls {
@@ -120,5 +120,5 @@
 }
 
 // Invalidate makes the next call of Moves plan again. Call it when the steps that
-// Moves returned were not applied.
+// Moves returned are not known to be applied.
 func (c *CapacityPlanner[A, S]) Invalidate() { c.dirty = true }
--- a/core/coord/mover/load.go
+++ b/core/coord/mover/load.go
@@ -10,8 +10,8 @@
 	// loadInterval is the time between two updates of the wave planner.
 	loadInterval = 5 * clock.Second
 	// loadDecay is the factor applied to the counts after each update, so that
-	// they cover about the last three minutes. Counts of the latest interval alone
-	// have no effect on the waves, because a load peak is shorter than the
+	// they cover about the last three minutes. The wave planner gets these counts
+	// and not those of the latest interval, because a load peak is shorter than the
 	// maintenance of an instance.
 	loadDecay = 0.97
 	// minRequests is the number of requests below which the share of failed
@@ -70,8 +70,9 @@
 }
 
 // observeLoad passes each customer's share of unserved requests and each instance's
-// failure count to the wave planner. Waves slow down while many requests are not
-// served, and stop when maintained instances fail more often than their peers.
+// request and failure counts to the wave planner. Waves slow down while many
+// requests are not served, and stop when maintained instances fail more often than
+// their peers.
 func (m *Mover[G, P, C, J, A, S]) observeLoad(now clock.Millis) {
 	t := &m.load
 	if now-t.updatedAt < loadInterval {
--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -57,7 +57,7 @@
 	mover    *testMover
 	// live holds the announcements that both entry processes report.
 	live map[model.InstanceID]model.Announcement
-	// drainedVersions overrides the drainedVersions version that an entry process reports.
+	// drainedVersions overrides the drained version that an entry process reports.
 	drainedVersions map[model.Process]model.Version
 	// suspended is the entry process that does not report; empty for none.
 	suspended model.Process
--- a/core/coord/mover/pass.go
+++ b/core/coord/mover/pass.go
@@ -49,15 +49,16 @@
 		steps = append(steps, moves...)
 		m.waits = append(m.waits, capacityWaits...)
 	}
-	if !m.propose(firstPerInstance(steps)) {
+	if !m.propose(selectSteps(steps)) {
 		m.Capacity.Invalidate()
 	}
 	m.requestReboots(now)
 }
 
-// firstPerInstance keeps the first step of each instance, because a change must
-// not hold two steps of one instance.
-func firstPerInstance(steps []model.InstanceStep) []model.InstanceStep {
+// selectSteps returns the steps for one change, sorted by instance: the first step
+// of each instance, because a change must not hold two steps of one instance, and
+// at most MaxSteps in all.
+func selectSteps(steps []model.InstanceStep) []model.InstanceStep {
 	seen := make(map[model.InstanceID]bool, len(steps))
 	kept := steps[:0]
 	for _, s := range steps {
@@ -99,7 +100,8 @@
 }
 
 // trackInstance updates moving, inMaintenance and the observation for a changed
-// instance. It marks a serving instance that no entry process reports as absent.
+// instance. It marks a serving instance as absent if no entry process reports it, or
+// only silent ones do.
 func (m *Mover[G, P, C, J, A, S]) trackInstance(i model.Instance, now clock.Millis) {
 	delete(m.moving, i.ID)
 	delete(m.inMaintenance, i.ID)
@@ -204,8 +206,9 @@
 	return steps
 }
 
-// planWaits returns the unconfirmed releases for maintenance and the waits,
-// stopped waves and unmet deadlines of a plan as waits for operators.
+// planWaits returns a Wait, which operators see in the Status, for each unconfirmed
+// release for maintenance and for each wait, stopped wave and unmet deadline of a
+// plan.
 func (m *Mover[G, P, C, J, A, S]) planWaits(plan maint.Plan) []Wait {
 	var waits []Wait
 	for _, id := range slices.Sorted(maps.Keys(m.inMaintenance)) {
@@ -273,8 +276,9 @@
 	return model.EventInstanceStep
 }
 
-// propose replicates the steps as one change and writes an event for each. It
-// returns false when the steps were not applied.
+// propose replicates the steps as one change and, once they are applied, writes an
+// event for each. It returns true only if the steps are known to be applied or there
+// are none; after false they may have been applied or may still be.
 func (m *Mover[G, P, C, J, A, S]) propose(steps []model.InstanceStep) bool {
 	if len(steps) == 0 {
 		return true
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -34,9 +34,10 @@
 	// Live holds, for each announced instance, its announcement and the entry
 	// processes that report it.
 	Live map[model.InstanceID]LiveInstance
-	// NewlyAnnounced holds the instances that were announced and that ClearEnrolled
-	// has not removed since. A pass enrols them or clears their lost mark. Holding
-	// them keeps the cost of a pass proportional to the changes.
+	// NewlyAnnounced holds the instances that were announced, or whose entry
+	// process is no longer silent, and that ClearEnrolled has not removed since. A
+	// pass enrols them or clears their lost mark. Holding them keeps the cost of a
+	// pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds, for each instance that is reported by no entry process or
 	// only by silent ones, the time since when.
@@ -190,8 +191,8 @@
 }
 
 // Unconfirmed returns the entry processes of the zone that have not confirmed
-// the release at version v, in the order of entries. Processes that were declared
-// gone don't have to confirm.
+// the release at version v, in the order of entries. A process that was declared
+// gone doesn't have to confirm, unless a run that started later has reported.
 func (g *Registry) Unconfirmed(entries []model.Member, zone model.Zone, v model.Version) []model.Process {
 	var missing []model.Process
 	for _, m := range entries {
--- a/core/coord/mover/steps.go
+++ b/core/coord/mover/steps.go
@@ -65,10 +65,10 @@
 	return model.InstanceStep{Base: i.Version, Instance: next}, nil
 }
 
-// MarkLost returns the steps that mark absent instances as lost, and those that
-// clear the mark of instances that are reported again. Instances of a zone that
-// is silent as a whole are not marked: the zone may be partitioned and still
-// serve its own callers.
+// MarkLost returns the steps that mark instances as lost that have been absent for
+// LossGrace, and those that clear the mark of instances that are reported again.
+// Instances of a zone that is silent as a whole are not marked: the zone may be
+// partitioned and still serve its own callers.
 func MarkLost(t model.Table, g *Registry, now clock.Millis) []model.InstanceStep {
 	var steps []model.InstanceStep
 	for id, since := range g.Absent {
--- a/core/coord/mover/surgeplanner.go
+++ b/core/coord/mover/surgeplanner.go
@@ -79,7 +79,7 @@
 		return nil, false
 	}
 	holdings := holdingsOf(t)
-	s.updateDemandTimes(holdings, demands, now)
+	s.completeDemands(holdings, demands, now)
 	choices, next := plan.Surge(s.chooser, s.weights, holdings, demands, now)
 	s.reasons = s.reasons[:0]
 	for _, c := range choices {
@@ -135,9 +135,10 @@
 	return out
 }
 
-// updateDemandTimes updates highSince and lowSince for all pools, including those
-// without demand, and copies the times to demands.
-func (s *SurgePlanner[S]) updateDemandTimes(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
+// completeDemands updates highSince and lowSince for all pools, including those
+// without demand, and sets HighSince, LowSince and QueueLimit of the demands. The
+// queue limit of a pool is the number of its slots.
+func (s *SurgePlanner[S]) completeDemands(holdings []plan.Holding, demands []plan.Demand, now clock.Millis) {
 	byPool := make(map[model.Pool]*plan.Demand, len(demands))
 	for i := range demands {
 		byPool[demands[i].Pool] = &demands[i]
@@ -169,7 +170,10 @@
 }
 
 // holdingsOf returns how many instances and slots each pool has, and how many
-// instances contracts promise it.
+// instances contracts promise it. A serving instance counts for its pool and a
+// released one for its target pool. Lost and retired instances and those handed over
+// for maintenance don't count. The slots per instance are those of the largest
+// instance that counts.
 func holdingsOf(t model.Table) []plan.Holding {
 	byPool := map[model.Pool]*plan.Holding{}
 	holdingOf := func(p model.Pool) *plan.Holding {
