Say which refusals count as unserved and in which order slots are chosen

countRefusal was said to count what the fleet caused; RefusalCapacity also covers a missing share of the contract's concurrency. Avoid did not state the order of own slots and loans, and that it has no effect on queued requests. Numbers in loans_test.go are explained.

--- a/core/coord/entry/admission.go
+++ b/core/coord/entry/admission.go
@@ -83,7 +83,8 @@
 	d.counts.Queued++
 }
 
-// startWaiting grants waiting requests of a pool while slots are free.
+// startWaiting grants waiting requests of a pool while slots are free. The slot is
+// reserved before the request is chosen, so Request.Avoid has no effect.
 func (d *Dispatcher[P, Q, L]) startWaiting(now clock.Millis, p model.Pool) {
 	for d.admission.HasRunnable(p) {
 		picked, ok := d.pick(now, p, "")
@@ -198,7 +199,8 @@
 	req.reply <- struct{}{}
 }
 
-// noUpstream returns the refusal for a pool without an available upstream.
+// noUpstream returns the refusal for a pool without an available upstream. Waiting
+// requests also get it when this process has lost its share of the pool's slots.
 func noUpstream(p model.Pool) Refusal {
 	return Refusal{Kind: RefusalCapacity, Reason: "no upstream of " + string(p), RetryAfter: clock.Second}
 }
--- a/core/coord/entry/command.go
+++ b/core/coord/entry/command.go
@@ -97,7 +97,7 @@
 		delta.RemovedContracts, delta.RemovedInstances = removedByFullDelta(old, delta)
 	}
 	if !fleet.Merge(&d.table, delta) {
-		return fail("table", KindVersion, "the delta from version %d to %d does not apply to the table at version %d", delta.From, delta.To, old.Version)
+		return fail("table", KindVersion, "the delta from version %d to %d does not apply to the table at version %d: a delta must not lower the version, and one that is not full must start at it", delta.From, delta.To, old.Version)
 	}
 	d.router.Version = d.table.Version
 	for _, i := range delta.Instances {
--- a/core/coord/entry/demand.go
+++ b/core/coord/entry/demand.go
@@ -11,9 +11,9 @@
 )
 
 // Demand returns the current demand of each pool, sorted by pool: its running and
-// waiting requests, and the requests that the fleet could not serve since the last
-// call. Its cost is proportional to the number of upstreams plus the number of the
-// customers' pools.
+// waiting requests, and the requests that were refused with RefusalCapacity or
+// RefusalDeadline since the last call. Its cost is proportional to the number of
+// upstreams plus the number of the customers' pools.
 func (d *Dispatcher[P, Q, L]) Demand() []model.PoolDemand {
 	return d.call(&command{op: opDemand}).demand
 }
--- a/core/coord/entry/dispatcher.go
+++ b/core/coord/entry/dispatcher.go
@@ -253,7 +253,7 @@
 }
 
 // startAllWaiting grants waiting requests of all pools with free slots, and refuses
-// those of pools that lost their last upstream.
+// those of pools in which this process has no slots any more and may borrow none.
 func (d *Dispatcher[P, Q, L]) startAllWaiting(now clock.Millis) {
 	d.pools = d.admission.WaitingPools(d.pools[:0])
 	for _, p := range d.pools {
--- a/core/coord/entry/entry_test.go
+++ b/core/coord/entry/entry_test.go
@@ -58,6 +58,7 @@
 	}
 }
 
+// ask requests a slot for acme in pool svc, with a deadline in the far future.
 func ask(ctx context.Context, d *testDispatcher) (Grant, *Refusal) {
 	return d.Acquire(ctx, Request{Customer: "acme", Pool: "svc", Deadline: 1 << 60})
 }
--- a/core/coord/entry/load.go
+++ b/core/coord/entry/load.go
@@ -14,7 +14,7 @@
 	customers map[model.Customer]*model.CustomerLoad
 	instances map[model.InstanceID]*model.InstanceTally
 	// refusedByPool counts, by pool, the refusals since the last call of Demand that
-	// the fleet caused; see countRefusal.
+	// count as unserved; see countRefusal.
 	refusedByPool map[model.Pool]int
 }
 
@@ -36,8 +36,9 @@
 	return n
 }
 
-// countRefusal counts a refusal of kind k if it was caused by the fleet and not by a
-// limit of the contract.
+// countRefusal counts a refusal of kind k as unserved if its kind is RefusalCapacity
+// or RefusalDeadline. Refusals by a limit of the contract don't count. RefusalCapacity
+// also covers a process that has no share of the contract's concurrency.
 func (l *loadCounters) countRefusal(c model.Customer, p model.Pool, k RefusalKind) {
 	if k == RefusalCapacity || k == RefusalDeadline {
 		l.customer(c).Unserved++
--- a/core/coord/entry/loans.go
+++ b/core/coord/entry/loans.go
@@ -75,7 +75,9 @@
 	}})
 }
 
-// syncLoans passes the number of lent slots of each upstream to the router.
+// syncLoans passes the changed numbers of lent slots to the router, and whether loans
+// of an earlier run may still be in use. It writes an event for each upstream of which
+// the first slot was lent or the last one returned.
 func (d *Dispatcher[P, Q, L]) syncLoans(now clock.Millis) {
 	d.router.LoansUncertain = d.loans.LoansUncertain(now)
 	d.loans.TakeChanges(func(id model.InstanceID, lent int) {
--- a/core/coord/entry/loans_test.go
+++ b/core/coord/entry/loans_test.go
@@ -59,9 +59,11 @@
 	d.HandleRecallAck("e2")
 	assert.Equal(t, d.DrainedVersion(), model.Version(5))
 	g := mustAsk(t, d)
+	// Half of the 8 connections are reserved for loans.
 	assert.Equal(t, g.Upstream.Connections, 4)
 	loans := d.Lend(request).Loans
 	assert.Equal(t, len(loans), 1)
+	// Of the 4 slots, 25 percent are never lent; 9 were requested.
 	assert.Equal(t, loans[0].Slots, 3)
 	assert.Equal(t, d.Status().Upstreams[0].Lent, 3)
 	d.Done(g.Ticket, OutcomeOK, 1)
@@ -84,11 +86,14 @@
 	go func() { got <- mustAsk(t, d) }()
 	m := nextMessage(messages, lend.MessageRequest)
 	assert.Equal(t, m.To, model.Process("e1"))
+	// The ID of a loan is the number of the request, followed by 8 bits for the
+	// position of the loan in the response.
 	d.HandleResponse(m, clock.Real().Now(), lend.LoanResponse{Incarnation: 1, Lease: clock.Minute, Loans: []lend.Loan{
 		{ID: lend.ID(m.Request.Number<<8 | 1), Instance: "ia", Pool: "svc", Address: "10.0.0.1:1", Slots: 2, Connections: 2},
 	}}, true)
 	g := <-got
 	assert.Equal(t, g.Upstream.Instance, model.InstanceID("ia"))
+	// 1<<60 is the deadline of the request that ask makes.
 	assert.Assert(t, g.Upstream.ConnectionName != "" && g.Upstream.WriteDeadline == 1<<60)
 	i := instance("ia", 4)
 	i.Phase, i.Version = model.PhaseReleasing, 6
--- a/core/coord/entry/types.go
+++ b/core/coord/entry/types.go
@@ -65,14 +65,17 @@
 type Request struct {
 	Customer model.Customer
 	Pool     model.Pool
+	// Deadline is the time on the dispatcher's clock by which the request must have
+	// ended.
 	Deadline clock.Millis
 	ID       string
 	// Retry is set when an earlier attempt was proven not to have run. A retry
 	// uses the customer's retry budget.
 	Retry bool
-	// Avoid is the instance of the earlier attempt. It is selected again only when no
-	// other instance has a free slot in this process's own share. No loan of it is
-	// used, but its own slot is preferred to a loan of another instance.
+	// Avoid is the instance of the earlier attempt. The order of preference is: a slot
+	// of another instance in this process's own share, a slot of Avoid in the own
+	// share, a loan of another instance. A loan of Avoid is not used. A request that
+	// had to wait in the queue gets any slot: Avoid has no effect on it.
 	Avoid model.InstanceID
 }
 
