--- a/core/coord/group/errors.go
+++ b/core/coord/group/errors.go
@@ -18,7 +18,8 @@
 	// KindBusy means that the ring or the list of pending proposals or reads is
 	// full; nothing was done.
 	KindBusy
-	// KindDisk means that this member's disk fails; nothing was done.
+	// KindDisk means that this member's writes fail, or that it can't decode a
+	// snapshot from the leader; nothing was done.
 	KindDisk
 	// KindPending means that another membership change is in progress, or that
 	// the leader has not committed an entry of its own term yet; nothing was done
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -11,7 +11,10 @@
 )
 
 // Storage stores the durable state of the member. Every write must be synced
-// when it returns. After an error it is retried with the same arguments.
+// when it returns. After an error of Save or InstallSnapshot, the calls for the same
+// output of the Raft node are repeated with the same arguments, including a Save that
+// succeeded before InstallSnapshot failed. After an error of SaveSnapshot, a snapshot
+// of the state at that time is written later.
 type Storage interface {
 	// Save writes the hard state, unless it is nil, and then replaces all
 	// entries with an index of entries[0].Index or higher.
