Say what startMoves counts and what TestLimitOfContract checks

startMoves returns violations, of which one move can cause two. 'total exposure' is a sum over failure domains. 'both operators' was not explained. The head of TestLimitOfContract left out the concurrency that is set.

--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -38,7 +38,8 @@
 }
 
 // TestLimitOfContract guards against a limit that is not derived from the promised
-// instances of the contract.
+// instances of a contract without a concurrency, and against one that ignores the
+// concurrency of a contract that sets it.
 func TestLimitOfContract(t *testing.T) {
 	slots := func(model.Pool) int { return 8 }
 	c := model.Contract{Queue: 3, RetryPercent: 7, Pools: []model.PoolShare{{Pool: "a", Instances: 2}, {Pool: "b", Instances: 3}}}
@@ -209,7 +210,7 @@
 	controller.Start(q)
 	controller.End(q, 100)
 	// Two slots at 100 ms per request: the estimated wait grows by 50 ms with each
-	// waiter, plus a margin of an eighth.
+	// waiter. Enqueue adds a margin of an eighth of the wait, and 100 ms for the run.
 	for k := range 4 {
 		need := clock.Millis(50*(k+1)*9/8 + 100)
 		_, reason := controller.Enqueue(0, need, q, 2, k)
--- a/core/state/plan/harness_test.go
+++ b/core/state/plan/harness_test.go
@@ -42,7 +42,7 @@
 
 // userContracts returns one contract that promises one pool of each size and
 // reserves spare instances in a spare pool. The benchmarks use it with five pools,
-// as in the contracts of both operators.
+// as many as the contracts of the two known operators have.
 func userContracts(covers model.FailureDomain, spare int, sizes ...int) []model.Contract {
 	c := model.Contract{Customer: "user", Covers: covers, Spare: spare, SparePool: "spare"}
 	for k, n := range sizes {
@@ -79,21 +79,22 @@
 	return in
 }
 
-// startMoves starts moves. It returns the number of moves from another pool or
-// phase than expected plus the number of steps that the state machine refused.
-func (h *fleetHarness) startMoves(moves []Move) (refused int) {
+// startMoves starts moves and returns the number of violations: the moves of
+// instances that don't serve the pool that the move names, plus the steps that the
+// state machine refused. One move can count twice.
+func (h *fleetHarness) startMoves(moves []Move) (violations int) {
 	for _, m := range moves {
 		i := h.state.Instances[m.Instance]
 		if i.Pool != m.From || i.Phase != model.PhaseServing {
-			refused++
+			violations++
 		}
 		i.Phase, i.Target = model.PhaseReleasing, m.To
 		if h.apply(i) != model.ResultApplied {
-			refused++
+			violations++
 		}
 		h.moves++
 	}
-	return refused
+	return violations
 }
 
 // finishMoves completes the moves that were started, except those of lost
@@ -122,8 +123,9 @@
 	}
 }
 
-// missingCounts returns the number of missing promised instances and the total
-// exposure.
+// missingCounts returns the number of missing promised instances, and the sum over
+// the exposed failure domains of the promised instances that the loss of each would
+// leave missing.
 func missingCounts(a Assignment) (promised, exposed int) {
 	for _, s := range a.Shortfalls {
 		if s.Kind == ShortfallPromised {
