--- a/io/trans/uplink/guardedconn.go
+++ b/io/trans/uplink/guardedconn.go
@@ -40,10 +40,11 @@
 	// to its end.
 	responseRead bool
 	closed       bool
-	// onSettled is called once after each response, when responseRead and
-	// reading are both true. onClosed is called once, when the connection is
-	// closed. mu is not held during either call.
-	onSettled, onClosed func()
+	// onReusable is called once after each response, when the connection can carry
+	// another request: responseRead and reading are both true, and the connection
+	// is neither closed nor blocked for writes. onClosed is called once, when the
+	// connection is closed. mu is not held during either call.
+	onReusable, onClosed func()
 }
 
 // beginRequest resets the state for the next request. It returns false if the
@@ -58,8 +59,9 @@
 	return true
 }
 
-// blockWritesWhen makes writes of the current request fail once pastDeadline
-// returns true.
+// blockWritesWhen makes Write call pastDeadline during the current request. Once
+// it returns true, that write and all later ones on the connection fail, so that
+// the connection carries no further request.
 func (g *guardedConn) blockWritesWhen(pastDeadline func() bool) {
 	g.mu.Lock()
 	g.pastDeadline = pastDeadline
@@ -73,7 +75,7 @@
 	ready := g.reading && !g.writesBlocked && !g.closed
 	g.mu.Unlock()
 	if ready {
-		g.onSettled()
+		g.onReusable()
 	}
 }
 
@@ -110,7 +112,7 @@
 	ready := g.responseRead && !g.writesBlocked && !g.closed
 	g.mu.Unlock()
 	if ready {
-		g.onSettled()
+		g.onReusable()
 	}
 	n, err := g.Conn.Read(p)
 	g.mu.Lock()
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -205,7 +205,7 @@
 	p.counts.opened.Add(1)
 	now := p.clk.Now()
 	c := &conn{pool: p, incarnation: up.Incarnation, lastResponse: now, lastRequest: now}
-	c.guardedConn = &guardedConn{Conn: raw, onSettled: c.handleSettled, onClosed: c.handleClosed}
+	c.guardedConn = &guardedConn{Conn: raw, onReusable: c.handleSettled, onClosed: c.handleClosed}
 	c.transport = newTransport(c.guardedConn, p.cfg)
 	c.beginRequest()
 	return c, nil
