Say when mover clears the lost mark of a reported instance

NewlyAnnounced was said to lead to a cleared lost mark in each pass. MarkLost does not run before warmUpTime, and ClearEnrolled removes instances of the table also when they are still marked.

--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -36,8 +36,8 @@
 	Live map[model.InstanceID]LiveInstance
 	// NewlyAnnounced holds the instances that were announced, or whose entry
 	// process is no longer silent, and that ClearEnrolled has not removed since. A
-	// pass enrols them or clears their lost mark. Holding them keeps the cost of a
-	// pass proportional to the changes.
+	// pass enrols them or, after warmUpTime, clears their lost mark. Holding them
+	// keeps the cost of a pass proportional to the changes.
 	NewlyAnnounced map[model.InstanceID]bool
 	// Absent holds, for each instance that is reported by no entry process or
 	// only by silent ones, the time since when.
@@ -223,8 +223,9 @@
 	return true
 }
 
-// ClearEnrolled removes from NewlyAnnounced the instances that are in table t or
-// are no longer live.
+// ClearEnrolled removes from NewlyAnnounced the instances that are in table t,
+// whether or not they are still marked as lost there, and those that are no longer
+// live.
 func (g *Registry) ClearEnrolled(t model.Table) {
 	for id := range g.NewlyAnnounced {
 		_, known := t.Instances[id]
