Say what front, uplink, peers, roles, codec, admin, logs and cmds do beyond the name

Comments that said less or other than the code: exchange.fallback is the latest response and is delivered if any later attempt is refused; receive keeps a response as the fallback; upstreamRequest sets the request ID in the caller's header; avoid forgets the known leader; members are skipped after an unavailable answer too; call ends on a malformed request; formGroup also sets stored; runMember stops the senders; serve leaves out what serveJobs adds; decoders also reject invalid keys, members, entries and versions; retireInstance only starts the release; "the member that was tried first" named no certain member.

peers/control.go: the text that Report sends when the mover's ring is full is "the leader is busy" again, because other processes receive it; a comment explains it.

--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -126,8 +126,8 @@
 }
 
 // ClaimFromWire converts a message to the claim of an idempotency key. It returns an
-// error if the token is empty, because claims of the same key could then not be
-// distinguished.
+// error if the key is not valid or the token is empty; without a token, claims of the
+// same key could not be distinguished.
 func ClaimFromWire(w *wirepb.Claim) (model.Claim, error) {
 	k, err := ClaimKeyFromWire(w.GetKey())
 	if err != nil {
@@ -151,7 +151,8 @@
 }
 
 // ClaimOutcomeFromWire converts a message to the outcome of a claimed request.
-// It returns an error if the token is empty or the state is not defined.
+// It returns an error if the key is not valid, the token is empty or the state is not
+// defined.
 func ClaimOutcomeFromWire(w *wirepb.ClaimOutcome) (model.ClaimOutcome, error) {
 	const op = "claim outcome"
 	k, err := ClaimKeyFromWire(w.GetKey())
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -27,8 +27,8 @@
 
 // JobFromWire converts a message to a job. It returns an error if the id is
 // empty, there are no steps, a step has no tasks, a step depends on itself or on a
-// later step, or the job has more than maxDecodedTasks tasks over all
-// occurrences.
+// later step, the number of occurrences is negative, or the steps of one occurrence or
+// of all occurrences have more than maxDecodedTasks tasks together.
 func JobFromWire(w *wirepb.Job) (jobs.Job, error) {
 	if err := required("job", "id", w.GetId()); err != nil {
 		return jobs.Job{}, err
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -121,7 +121,7 @@
 
 // JobStateFromWire converts a message to the replicated job state. A nil message
 // gives an empty state. It returns an error if a job, its status or one of its
-// tasks is not valid.
+// tasks is not valid, or if its record has another number of occurrences than the job.
 func JobStateFromWire(w *wirepb.JobsSnapshot) (*jobs.State, error) {
 	s := jobs.New()
 	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
@@ -143,7 +143,7 @@
 }
 
 // jobRecordFromWire converts a message to the record of a job. Tasks that are not in
-// the message have the initial state.
+// the message get the initial state.
 func jobRecordFromWire(w *wirepb.JobRecord) (*jobs.Record, error) {
 	j, err := JobFromWire(w.GetJob())
 	if err != nil {
--- a/io/proto/codec/raft.go
+++ b/io/proto/codec/raft.go
@@ -20,7 +20,8 @@
 }
 
 // LogEntryFromWire converts a message to a Raft log entry. It returns an error if
-// the kind is not defined or the index is 0; log indexes start at 1.
+// the kind is not defined, a member is not valid, or the index is 0; log indexes
+// start at 1.
 func LogEntryFromWire(w *wirepb.LogEntry) (raft.Entry, error) {
 	const op = "log entry"
 	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.EntryMembers)
@@ -86,7 +87,8 @@
 }
 
 // SnapshotMetaFromWire converts a message to the metadata of a snapshot. A nil
-// message gives the zero value, which stands for no snapshot.
+// message gives the zero value, which stands for no snapshot. It returns an error if
+// a member is not valid.
 func SnapshotMetaFromWire(w *wirepb.SnapshotMeta) (raft.SnapshotMeta, error) {
 	members, err := tryMapAll(w.GetMembers(), GroupMemberFromWire)
 	if err != nil {
@@ -121,8 +123,9 @@
 }
 
 // RaftMessageFromWire converts a protobuf message to a Raft message. It returns an
-// error if the kind is not defined, the ID of the sender or the receiver is 0, or
-// the indexes of the entries are not consecutive.
+// error if the kind is not defined, the ID of the sender or the receiver is 0, an
+// entry or the metadata of the snapshot is not valid, or the indexes of the entries
+// are not consecutive.
 func RaftMessageFromWire(w *wirepb.RaftMessage) (raft.Message, error) {
 	const op = "raft message"
 	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.MsgSnapshotReply)
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -75,8 +75,9 @@
 }
 
 // StateFromWire converts a message to the replicated state. It returns an error
-// if an element is not valid, if results or claims are not in the order of their
-// times, or if the table changes are not in the order of their versions.
+// if an element is not valid, if the version of the table is above the log index, if
+// results or claims are not in the order of their times, or if the table changes are
+// not in the order of their versions or exceed the version of the table.
 func StateFromWire(w *wirepb.FleetSnapshot) (*fleet.State, error) {
 	s := fleet.New()
 	s.Index = model.Version(w.GetIndex())
--- a/io/proto/conf/key.go
+++ b/io/proto/conf/key.go
@@ -32,7 +32,8 @@
 	Allowed string
 	// Meaning describes the setting on the reference page.
 	Meaning string
-	// set stores the value in t and reports whether the value is allowed. name is the
+	// set stores the value in t and reports whether the value is allowed. It may also
+	// store a value that is not allowed, because the file is rejected then. name is the
 	// text in place of the placeholder; it is empty if there is no placeholder.
 	set func(t *T, name, value string) bool
 }
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -112,8 +112,8 @@
 	fmt.Fprintf(&x.out, "%s%s %s\n", name, labels, formatNumber(v))
 }
 
-// uniqueName returns prefix, the sanitised name and suffix, joined. It inserts a number
-// before suffix if the name followed by any suffix in reserve is in use, because
+// uniqueName returns prefix, the sanitised name and suffix, joined. If the name already
+// ends in suffix, it gets no second one. uniqueName inserts a number before suffix if the name followed by any suffix in reserve is in use, because
 // scrapers reject a page with two metrics of the same name. It then reserves the name
 // followed by each suffix in reserve.
 func (x *exposer) uniqueName(name, suffix string, reserve ...string) string {
--- a/io/trans/cmds/change.go
+++ b/io/trans/cmds/change.go
@@ -161,9 +161,10 @@
 	})
 }
 
-// retireInstance releases an instance from its pool and removes it from the fleet
-// permanently. A spare instance replaces it in the pool. The release ends when every
-// entry process of the zone has confirmed it.
+// retireInstance starts to release an instance from its pool, with the target
+// model.PoolNone, and does not wait for the end of the release. The release ends when
+// every entry process of the zone has confirmed it; the instance is then removed from
+// the fleet permanently. A spare instance replaces it in the pool.
 func retireInstance(o *options, out io.Writer) error {
 	return withSystemView(o, func(p *controlClient, v peers.SystemView) error {
 		for _, i := range v.Status.Instances {
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -83,11 +83,12 @@
 	parsed parsedRequest
 	// id is the request ID.
 	id string
-	// deadline is the time at which the caller stops waiting.
+	// deadline is the time at which the request times out.
 	deadline clock.Millis
 	body     payload
-	// fallback is the response of an upstream that did not run the request. It
-	// is delivered if the dispatcher refuses the retry.
+	// fallback is the latest response of an upstream that did not run the
+	// request; nil if there is none. It is delivered if the dispatcher refuses
+	// any later attempt.
 	fallback *bufferedResponse
 }
 
@@ -159,7 +160,8 @@
 }
 
 // run acquires a grant and sends the request, and repeats both until the
-// request ran, its outcome is unknown, or no further attempt is allowed.
+// request ran, its outcome is unknown, the dispatcher refuses it, or no further
+// attempt is allowed. In each case the caller has been answered when run returns.
 func (f *Handler[D, C]) run(x *exchange) runResult {
 	req := entry.Request{Customer: x.parsed.customer, Pool: x.parsed.service, Deadline: x.deadline, ID: x.id}
 	reason := ""
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -174,7 +174,8 @@
 		_ = c.Close()
 	}
 	// If both are present, Transfer-Encoding overrides Content-Length (RFC 9112,
-	// section 6.3), and Content-Length is not forwarded.
+	// section 6.3), and Content-Length is not forwarded. Of this, the test checks
+	// only that the request gets a response.
 	c, err := net.Dial("tcp", te.url[len("http://"):])
 	assert.NilError(t, err)
 	writeRaw(c, "POST /svc/x HTTP/1.1\r\nHost: a\r\nX-Mark: both\r\nCamphorridge-Customer: acme\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
--- a/io/trans/front/send.go
+++ b/io/trans/front/send.go
@@ -55,8 +55,10 @@
 	return f.receive(x, resp, res, body, releaseGrant, mayRetry)
 }
 
-// receive reads the response. It delivers a response whose body is smaller than
-// the buffer once it was read completely, and streams any other.
+// receive reads the response. A response whose body is smaller than the buffer is
+// read completely and then delivered, or kept as x.fallback if the request may be
+// retried. A larger one is streamed. If the body ends early while the buffer is
+// being filled, the caller is told that the outcome is unknown.
 func (f *Handler[D, C]) receive(x *exchange, resp *http.Response, res uplink.Result, body *attemptBody, releaseGrant func(entry.Outcome), mayRetry bool) attemptResult {
 	buf := f.getBuffer(resp.ContentLength)
 	defer f.putBuffer(buf)
@@ -187,7 +189,8 @@
 	return entry.OutcomeUnknown
 }
 
-// upstreamRequest builds the request of one attempt.
+// upstreamRequest builds the request of one attempt. The request shares the header
+// of the caller's request, in which upstreamRequest sets HeaderRequestID.
 func (f *Handler[D, C]) upstreamRequest(x *exchange, body *attemptBody) *http.Request {
 	out := &http.Request{
 		Method: x.r.Method, URL: x.r.URL, Header: x.r.Header, Host: x.r.Host,
--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -73,7 +73,7 @@
 
 // admit reports whether a line may be queued. A line of level info must fit the
 // token bucket, from which its length is subtracted; lines of other levels are
-// always admitted.
+// always admitted, unless they contain the text of infoLevelField elsewhere.
 func (a *AsyncWriter) admit(line []byte) bool {
 	if !bytes.Contains(line, infoLevelField) {
 		return true
--- a/io/trans/peers/client.go
+++ b/io/trans/peers/client.go
@@ -16,9 +16,9 @@
 	"camphorridge/io/proto/wirepb"
 )
 
-// The limits for connections between processes. After an error of KindUnavailable
-// or KindOutcomeUnknown the idle connections are closed, and later calls open new
-// ones.
+// The limits for connections between processes. If a call other than Join fails
+// with KindUnavailable or KindOutcomeUnknown, the idle connections are closed, and
+// later calls open new ones.
 const (
 	dialTimeout         = 500 * time.Millisecond
 	idleTimeout         = 30 * time.Second
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -85,8 +85,8 @@
 
 // Join asks the leader of the control group, to which the members belong, to add
 // self. It tries the members in turn; if one names the leader's address, it tries
-// that address next. If all attempts fail, it returns the last error. The error names
-// the member that was tried first, also if the named leader returned it.
+// that address next. If all attempts fail, it returns the last error, which names the
+// member whose turn it was, even if the leader that this member named returned it.
 func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) error {
 	var lastErr error
 	for _, m := range members {
--- a/io/trans/peers/control.go
+++ b/io/trans/peers/control.go
@@ -109,7 +109,9 @@
 	return notLeader(name, address)
 }
 
-// Propose checks a change, proposes it to the group and returns its result.
+// Propose checks a change, proposes it to the group, records it in the event log
+// and returns its result. A change that the check refuses is recorded but not
+// proposed. Only the leader accepts changes.
 func (s *ControlServer[G, M]) Propose(ctx context.Context, r *wirepb.ProposeRequest) (*wirepb.ProposeResponse, error) {
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	if err := s.requireLeader(); err != nil {
@@ -229,7 +231,8 @@
 	// than the one in which the mover takes the report.
 	term := s.Group.Status().Term
 	if !s.Mover.Report(rep) {
-		return nil, twirp.NewError(twirp.Unavailable, "the mover's input ring is full; send the report again later")
+		// The mover's input ring is full; the caller sends a report again later.
+		return nil, twirp.NewError(twirp.Unavailable, "the leader is busy")
 	}
 	return &wirepb.ReportResponse{Term: term, Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -21,8 +21,8 @@
 	// rounds would be too frequent during an election, which takes about a
 	// second.
 	roundDelay clock.Millis = 100
-	// avoidDuration is the time for which a member is tried only after all
-	// others, because it did not respond.
+	// avoidDuration is the time for which the rotation skips a member that did
+	// not respond or was unavailable, unless all members are to be skipped.
 	avoidDuration = 2 * clock.Second
 )
 
@@ -40,8 +40,8 @@
 	// nextMemberIndex, modulo the number of members, is the index of the next
 	// member in rotation. It never decreases.
 	nextMemberIndex int
-	// avoidUntil holds, for each address that did not respond, the time until
-	// which it is tried only after all others.
+	// avoidUntil holds, for each address that did not respond or was
+	// unavailable, the time until which the rotation skips it.
 	avoidUntil map[string]clock.Millis
 }
 
@@ -86,8 +86,9 @@
 }
 
 // call runs f with the clients of the last known leader, then with those of the
-// members in rotation, until f succeeds or ctx ends. If a member names another
-// address as the leader's, call tries that address next. Doing so does not use
+// members in rotation, until f succeeds, an attempt is rejected as malformed, or
+// ctx ends. If a member names another address as the leader's, call tries that
+// address next. Doing so does not use
 // up a member's turn in the rotation: the address may be wrong, and the member
 // whose turn it is may be the leader.
 func (l *LeaderClient) call(ctx context.Context, op string, f func(context.Context, remote) error) error {
@@ -180,8 +181,8 @@
 	return l.members
 }
 
-// avoid makes nextMember skip an address that did not respond, for
-// avoidDuration.
+// avoid makes nextMember skip an address for avoidDuration, and forgets the known
+// leader if that is its address.
 func (l *LeaderClient) avoid(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/trans/peers/sender.go
+++ b/io/trans/peers/sender.go
@@ -31,7 +31,8 @@
 	mu         sync.Mutex
 	// rings holds the ring of each member that was sent a message.
 	rings map[raft.MemberID]*ring.Ring[raft.Message]
-	// addresses is the current address of each member.
+	// addresses holds the latest known address of each member; members that have
+	// left the group stay in it.
 	addresses map[raft.MemberID]string
 	done      chan struct{}
 	wg        sync.WaitGroup
--- a/io/trans/peers/traffic.go
+++ b/io/trans/peers/traffic.go
@@ -7,7 +7,7 @@
 )
 
 // Traffic counts the bytes that a process exchanges with the system's other
-// processes and with upstreams that announce themselves.
+// processes, with operators' commands, and with upstreams that announce themselves.
 type Traffic struct {
 	sent     atomic.Int64
 	received atomic.Int64
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -178,8 +178,8 @@
 	logs.Event(c.log, e)
 }
 
-// serve opens the listeners and adds all components in the order in which they
-// stop.
+// serve opens the listeners and adds the components, except those that serveJobs
+// adds, in the order in which they stop.
 func (c *Control) serve(g *run.Group) error {
 	l, err := listen("peers", c.cfg.Listen.Peers)
 	if err != nil {
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -141,8 +141,8 @@
 	return s
 }
 
-// applyDelta applies a delta to the dispatcher's table and records the new
-// version in the event log.
+// applyDelta applies a delta to the dispatcher's table. If its version is newer
+// than the poller's, it is recorded in the event log.
 func (e *Entry) applyDelta(d model.Delta) error {
 	if err := e.dispatch.ApplyDelta(d); err != nil {
 		return err
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -67,7 +67,8 @@
 	return r.runMember(member)
 }
 
-// runMember runs the member until Stop is called.
+// runMember runs the member until Stop is called or the member's event loop fails,
+// and then stops the senders.
 func (r *groupRunner) runMember(member *raftMember) error {
 	ended := make(chan error, 1)
 	go func() { ended <- member.Run() }()
@@ -89,8 +90,9 @@
 // the same snapshot on its own.
 const initialIndexAndTerm = 1
 
-// formGroup writes the initial snapshot. The member's term is that of the snapshot,
-// so that the term of the first leader is higher.
+// formGroup writes the initial snapshot and Raft state to the data folder, and sets
+// both in stored. The member's term is that of the snapshot, so that the term of the
+// first leader is higher.
 func (r *groupRunner) formGroup(stored *raft.StoredState, members []raft.Member) error {
 	stored.Snapshot = raft.SnapshotMeta{Index: initialIndexAndTerm, Term: initialIndexAndTerm, Members: members}
 	stored.Hard = raft.HardState{Term: initialIndexAndTerm, Commit: initialIndexAndTerm}
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -109,7 +109,8 @@
 	return member.Remove(ctx, id)
 }
 
-// Join adds a member. It fails unless this process is the leader.
+// Join adds a member. It fails unless this process is the leader. The senders keep
+// the address of x even if Join fails.
 func (m *memberAccess) Join(ctx context.Context, x raft.Member) error {
 	member, err := m.getMember()
 	if err != nil {
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -24,7 +24,9 @@
 // Limits of an entry process for submitters.
 const (
 	// pingInterval is the time between two checks whether the process can reach the
-	// leader, and maxPingAge is how long a successful check keeps it ready.
+	// leader, and the RetryAfter of a call that certainly was not executed because
+	// the leader could not be reached. maxPingAge is how long a successful check
+	// keeps the process ready.
 	pingInterval = 500 * clock.Millis(1)
 	maxPingAge   = 1800 * clock.Millis(1)
 	// leaderTimeout is the timeout of CallRunner, and the time after which a call
--- a/io/trans/uplink/body.go
+++ b/io/trans/uplink/body.go
@@ -20,8 +20,8 @@
 	released bool
 }
 
-// Read implements io.Reader. If the response ends early, the error is an
-// *Error.
+// Read implements io.Reader. The first failure before the end of the body closes
+// the connection and is returned as an *Error.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
 	switch {
--- a/io/trans/uplink/client.go
+++ b/io/trans/uplink/client.go
@@ -31,9 +31,9 @@
 // no response, the error is an *Error, and the Result says whether the request
 // may have run.
 //
-// If a reused connection turns out to be closed before a byte of the request was
-// written, Do makes a second attempt on a new connection, provided that the
-// request has no body or has GetBody.
+// If an attempt on a reused connection fails with KindClosed before a byte of the
+// request was written, Do makes a second attempt on a new connection, provided that
+// the request has no body or has GetBody.
 func (cl *Client) Do(ctx context.Context, up Upstream, req *http.Request) (*http.Response, Result, error) {
 	cl.counts.requests.Add(1)
 	p := cl.pool(up.Name)
@@ -116,7 +116,7 @@
 
 // handleFailure returns the kind of a failed request. If the request was written
 // but had no complete response at its deadline, handleFailure also counts it and
-// closes the connections that have been idle since before it started, because a
+// closes the connections that have been idle since before the request started: a
 // middlebox that dropped its state for one connection has often dropped it for
 // all.
 func (cl *Client) handleFailure(ctx context.Context, p *pool, started clock.Millis, written bool) Kind {
@@ -225,7 +225,8 @@
 	}
 }
 
-// OpenConnections returns the number of open connections to an upstream.
+// OpenConnections returns the number of connections to an upstream, including those
+// that are being opened.
 func (cl *Client) OpenConnections(name string) int {
 	cl.mu.RLock()
 	p := cl.pools[name]
--- a/io/trans/uplink/maintain.go
+++ b/io/trans/uplink/maintain.go
@@ -11,8 +11,8 @@
 // maintainInterval is the interval between two checks of the idle connections.
 const maintainInterval clock.Millis = 250
 
-// Run checks the idle connections every maintainInterval, and probes or closes
-// those that are due. It returns nil after Stop.
+// Run checks the idle connections every maintainInterval, probes or closes those
+// that are due, and drops unused pools. It returns nil after Stop.
 func (cl *Client) Run() error {
 	for {
 		select {
@@ -65,8 +65,8 @@
 }
 
 // maintainIdle closes the idle connections of a pool that have carried no
-// request for IdleTimeout, and probes those that have received no response for
-// ProbeAfterIdle.
+// request for IdleTimeout. If the upstream has a health path, it probes those of
+// the others that have received no response for ProbeAfterIdle.
 func (cl *Client) maintainIdle(p *pool) {
 	now := cl.clk.Now()
 	var expired, due []*conn
@@ -96,8 +96,8 @@
 }
 
 // probe requests the health path on an idle connection. A complete, valid
-// response shows that the connection works, whatever its status code. Without
-// one, probe closes the connection and all others that have been idle since
+// response with a body below MaxResponseHeaderBytes shows that the connection
+// works, whatever its status code. Without one, probe closes the connection and all others that have been idle since
 // before the probe started.
 func (cl *Client) probe(p *pool, c *conn, up Upstream) {
 	cl.counts.probes.Add(1)
--- a/io/trans/uplink/pool.go
+++ b/io/trans/uplink/pool.go
@@ -56,11 +56,13 @@
 	idle []*conn
 	// settling is the number of connections with settling set.
 	settling int
-	// lastRequest is the start of the last request. dropped is true once the
+	// lastRequest is the start of the last request, or the time at which the pool
+	// was created if there was none. dropped is true once the
 	// client has removed the pool; acquire refuses all requests then.
 	lastRequest clock.Millis
 	dropped     bool
-	// changed is signalled when a connection becomes idle or is closed.
+	// changed is signalled when a connection becomes idle, is closed, or could
+	// not be opened.
 	changed chan struct{}
 }
 
@@ -162,7 +164,8 @@
 // updateUpstream records the time of the request and the current address and
 // limits of the upstream, and closes idle connections to an earlier incarnation
 // or address. It refuses a request for an earlier incarnation, because the
-// restarted process may serve another pool of instances.
+// restarted process may serve another pool of instances, and any request once the
+// client has dropped the pool.
 func (p *pool) updateUpstream(up Upstream) error {
 	p.mu.Lock()
 	p.lastRequest = p.clk.Now()
