Name the once that guards Stop, and say which kind and status the decoders check

admin.Server.stop was the sync.Once of Stop: now stopOnce. newReloader's first was the list in use at the start: now initial. "the kind or the state of a claim" left open whose kind; CallFromWire does not itself give a job its ID, the runner does; BufferBytes "up to which" bodies are buffered left out that a response body of exactly that size is streamed.

--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -22,9 +22,9 @@
 // CallFromWire converts a message to a call about jobs. It returns an error if the
 // kind is not one of CallSubmit to CallList, or if a submitted job is not valid. The
 // kinds for the configuration and for waves are rejected too, because such calls are
-// not sent between processes. A submitted job gets its ID from the Path or the JobID
-// of the call. The ID in the job itself is not used, but JobFromWire rejects a job
-// in which it is empty.
+// not sent between processes. The runner later gives a submitted job the ID in the
+// Path or the JobID of the call. The ID in the job itself is not used, but JobFromWire
+// rejects a job in which it is empty.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
 	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
 	if err != nil {
@@ -53,8 +53,8 @@
 }
 
 // AnswerFromWire converts a message to the answer to a call about jobs. It
-// returns an error if the kind of the answer or the status of a job is not
-// defined.
+// returns an error if the kind or the status of the answer, or the status of a job
+// in it, is not defined.
 func AnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
 	kind, err := enumFromWire("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
 	if err != nil {
--- a/io/proto/codec/change.go
+++ b/io/proto/codec/change.go
@@ -203,7 +203,8 @@
 }
 
 // ResultFromWire converts a message to the result of a change. It returns an
-// error if the kind or the state of a claim is not defined.
+// error if the kind of the result or the state in the answer to a claim is not
+// defined.
 func ResultFromWire(w *wirepb.Result) (model.Result, error) {
 	kind, err := enumFromWire("result", "kind", w.GetKind(), model.ResultInvalid)
 	if err != nil {
--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -56,7 +56,7 @@
 	listener net.Listener
 	http     *http.Server
 	done     chan struct{}
-	stop     sync.Once
+	stopOnce sync.Once
 }
 
 // New returns a server that listens on the configured address; Run serves it. The
@@ -103,7 +103,7 @@
 }
 
 // Stop ends Run. It may be called more than once.
-func (s *Server) Stop() { s.stop.Do(func() { close(s.done) }) }
+func (s *Server) Stop() { s.stopOnce.Do(func() { close(s.done) }) }
 
 // Handler returns the handler of the paths /metrics, /healthz, /readyz and /events.
 func (s *Server) Handler() http.Handler {
--- a/io/trans/front/types.go
+++ b/io/trans/front/types.go
@@ -97,8 +97,8 @@
 	// DefaultTimeout applies to requests without HeaderTimeout. A value of the
 	// header above MaxTimeout is reduced to MaxTimeout.
 	DefaultTimeout, MaxTimeout clock.Millis
-	// BufferBytes is the size up to which request and response bodies are
-	// buffered whole; larger ones are streamed.
+	// BufferBytes is the size of the buffer for a request or response body.
+	// Smaller bodies are buffered whole; larger ones are streamed.
 	BufferBytes int
 	// MaxBodyBytes and MaxHeaderBytes bound the body and the header of a
 	// request.
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -152,7 +152,7 @@
 func initialised(s raft.StoredState) bool { return s.Snapshot.Index > 0 || len(s.Entries) > 0 }
 
 // newSurgePlanner returns a surge planner with the weights of the operator's
-// preference.
+// preference. With the preference off, the planner is disabled.
 func newSurgePlanner(cfg conf.Control) *mover.SurgePlanner[plan.Cheapest] {
 	w := plan.RolloutFirst()
 	if cfg.SurgePreference == "buffer-cost" {
--- a/io/trans/roles/reload.go
+++ b/io/trans/roles/reload.go
@@ -32,8 +32,8 @@
 	done    chan struct{}
 }
 
-func newReloader(load func() ([]model.Member, error), first []model.Member, apply func([]model.Member), c clock.Clock, lg *log.Logger) *reloader {
-	return &reloader{load: load, apply: apply, applied: first, clock: c, log: lg, done: make(chan struct{})}
+func newReloader(load func() ([]model.Member, error), initial []model.Member, apply func([]model.Member), c clock.Clock, lg *log.Logger) *reloader {
+	return &reloader{load: load, apply: apply, applied: initial, clock: c, log: lg, done: make(chan struct{})}
 }
 
 // Run reloads the settings until Stop is called.
