Say what the planner, group and the small state types really hold

Now the comments say when each is set, what is still seen and what is ignored; DiskFailures is WriteFailures and DiskError is WriteError (the metric's name stays).

--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -165,7 +165,7 @@
 
 // removeSilentMember removes a member that has been silent for removalDelay if the
 // group has more than minMembers members, as it has after a machine was replaced
-// permanently.
+// permanently. It removes at most one member in each check.
 func (mm *MembershipManager[P, G]) removeSilentMember(ctx context.Context, v View) {
 	now := mm.clock.Now()
 	for id := range mm.silentSince {
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -84,8 +84,8 @@
 // machine until dead members prevent a quorum, and against a group that shrinks below
 // the size that tolerates the loss of disks.
 func TestSilentMemberIsRemoved(t *testing.T) {
-	for _, c := range []struct{ size, want int }{{3, 1}, {4, 0}} {
-		mm, g, clk := newTestManager(c.size)
+	for _, c := range []struct{ minMembers, want int }{{3, 1}, {4, 0}} {
+		mm, g, clk := newTestManager(c.minMembers)
 		g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}, IsLeader: true, Silent: []raft.MemberID{3}}
 		mm.check()
 		clk.Advance(removalDelay - 1)
--- a/core/coord/fanout/forwarder.go
+++ b/core/coord/fanout/forwarder.go
@@ -52,9 +52,10 @@
 	return f
 }
 
-// Forward sends an announcement that this process received from the upstream
-// itself to all neighbours. It doesn't block; when the ring of a neighbour is
-// full, the announcement to that neighbour is dropped and counted.
+// Forward queues an announcement for all neighbours. The announcement must have come
+// from the upstream directly, not from a neighbour. Forward doesn't block; when the
+// ring of a neighbour is full, the announcement to that neighbour is dropped and
+// counted.
 func (f *Forwarder[S]) Forward(a model.Announcement) {
 	for _, nb := range f.neighbours {
 		nb.outgoing.TryPut(a)
@@ -86,7 +87,7 @@
 	return nil
 }
 
-// Stop ends Run.
+// Stop ends Run; waiting announcements are dropped. It must be called at most once.
 func (f *Forwarder[S]) Stop() { close(f.done) }
 
 func (f *Forwarder[S]) runNeighbour(nb neighbour) {
@@ -100,8 +101,9 @@
 	}
 }
 
-// sendBatch collects announcements for batchWait and sends them in one batch. In a
-// batch a later announcement of an instance replaces an earlier one.
+// sendBatch collects announcements for batchWait and sends them in one batch, in
+// which a later announcement of an instance replaces an earlier one. If Stop is
+// called during the wait, nothing is sent.
 func (f *Forwarder[S]) sendBatch(nb neighbour, first model.Announcement) {
 	select {
 	case <-f.clock.After(batchWait):
@@ -121,5 +123,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout.Duration())
 	defer cancel()
+	// The error is ignored: the upstreams announce again, see sendTimeout.
 	_ = f.sender.Announce(ctx, nb.member, batch)
 }
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -58,8 +58,8 @@
 	// later.
 	Send func([]raft.Message)
 	// Observe, if set, is called in the event loop after a change of the role,
-	// term, leader, member list or disk state. It must not block or call the
-	// Group.
+	// term, leader or member list, and when writes begin to fail or succeed again.
+	// It must not block or call the Group.
 	Observe func(Status)
 }
 
@@ -81,8 +81,9 @@
 	applied uint64
 	// snapshotIndex is the index of the latest snapshot on disk; at most applied.
 	snapshotIndex uint64
-	// nextSnapshot is the earliest time of the next snapshot after a failed one.
-	nextSnapshot clock.Millis
+	// snapshotRetryAt is the earliest time of the next attempt after a failed write of a
+	// local snapshot.
+	snapshotRetryAt clock.Millis
 	// pendingProposals is keyed by log index, and pendingReads by read context.
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]chan answer
@@ -125,10 +126,10 @@
 	LogWrites int64
 	// Applied counts the applied entries, without those in an installed snapshot.
 	Applied int64
-	// DiskFailures counts failed attempts to write an output of the Raft node, and
-	// SnapshotFailures counts failed writes of local snapshots and failed reads of
-	// snapshots.
-	DiskFailures     int64
+	// WriteFailures counts failed attempts to write an output of the Raft node, whether
+	// the disk failed or a received snapshot could not be decoded. SnapshotFailures
+	// counts failed writes of local snapshots and failed reads of snapshots.
+	WriteFailures    int64
 	SnapshotFailures int64
 	// Snapshots counts the snapshots of the local state that were written, and
 	// InstalledSnapshots those received from a leader.
@@ -138,8 +139,8 @@
 	// of them messages from peers. It does not count requests that were refused
 	// while only the part of the ring that is reserved for messages was free.
 	RefusedInputs int64
-	// DroppedMessages counts peer messages that were dropped while the disk
-	// failed.
+	// DroppedMessages counts peer messages that were dropped while the write of an
+	// output failed.
 	DroppedMessages int64
 	// InvalidMessages counts peer messages that contradicted committed entries or
 	// named a second leader of a term.
@@ -165,10 +166,10 @@
 	// Peers is nil unless this member is the leader.
 	Peers            []raft.PeerStatus
 	PendingProposals int
-	// DiskError is the error of the last failed write while writes fail, and
-	// otherwise empty.
-	DiskError string
-	Counts    Counts
+	// WriteError is the error of the last failed write of an output while writes
+	// fail, and otherwise empty.
+	WriteError string
+	Counts     Counts
 }
 
 // observedState is the part of the state whose changes are reported to Observe.
@@ -178,7 +179,9 @@
 	leader raft.MemberID
 	// membersIndex is the index of the entry that set the current member list.
 	membersIndex uint64
-	diskFailed   bool
+	// writeFailed is set while the write of an output fails, because of the disk or
+	// because a received snapshot cannot be decoded.
+	writeFailed bool
 }
 
 // New returns a Group for a member with the given stored state. The error has
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -178,11 +178,11 @@
 
 	lead := c.leader(others(full)...)
 	assert.NilError(t, c.awaitOutcome(c.propose(lead, contractChange("b", "request-2"))).err)
-	c.until("the failed write is retried", func() bool { return c.status(full).Counts.DiskFailures > 2 })
-	assert.Assert(t, c.status(full).DiskError != "")
+	c.until("the failed write is retried", func() bool { return c.status(full).Counts.WriteFailures > 2 })
+	assert.Assert(t, c.status(full).WriteError != "")
 	assert.Equal(t, c.contracts(full), 1)
 	c.disks[full].failing.Store(false)
-	c.until("the member recovers", func() bool { return c.contracts(full) == 2 && c.status(full).DiskError == "" })
+	c.until("the member recovers", func() bool { return c.contracts(full) == 2 && c.status(full).WriteError == "" })
 }
 
 // join adds a member and waits until it is a voter and the group has size
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if g.failedOutput != nil {
-		g.failOnDiskError(in)
+		g.failOnWriteError(in)
 		return
 	}
 	switch in.kind {
@@ -44,9 +44,9 @@
 	}
 }
 
-// failOnDiskError answers an input with the error of the failed write, or drops it
+// failOnWriteError answers an input with the error of the failed write, or drops it
 // and counts its messages when it comes from a peer.
-func (g *Group[S, C]) failOnDiskError(in input) {
+func (g *Group[S, C]) failOnWriteError(in input) {
 	if in.kind == inputMessages {
 		g.counts.DroppedMessages += int64(len(in.messages))
 		return
@@ -171,7 +171,7 @@
 	}
 	s.Counts.RefusedInputs = g.ring.Refused()
 	if g.failedOutput != nil {
-		s.DiskError = g.writeErr.Error()
+		s.WriteError = g.writeErr.Error()
 	}
 	return s
 }
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -76,10 +76,11 @@
 }
 
 // onWriteError keeps an output whose write failed so that it can be retried. The
-// member steps down and ignores all messages until the write succeeds, so that
-// the others elect a leader whose disk works.
+// cause is a disk error or a received snapshot that cannot be decoded. The member
+// steps down and ignores all messages until the write succeeds, so that the others
+// elect a leader that can write.
 func (g *Group[S, C]) onWriteError(out *raft.Output, err error) {
-	g.counts.DiskFailures++
+	g.counts.WriteFailures++
 	g.failedOutput = out
 	g.writeErr = err
 	g.retryAt = g.clock.Now() + g.cfg.RetryDelay
@@ -119,20 +120,21 @@
 }
 
 // snapshot writes a local snapshot if SnapshotEntries entries have been applied
-// since the last one. A failure only makes the log longer; the snapshot is
-// retried after RetryDelay.
+// since the last one. A failed write only makes the log longer; it is retried after
+// RetryDelay.
 func (g *Group[S, C]) snapshot() {
 	now := g.clock.Now()
-	if g.failedOutput != nil || g.terminalErr != nil || g.applied-g.snapshotIndex < g.cfg.SnapshotEntries || now < g.nextSnapshot {
+	if g.failedOutput != nil || g.terminalErr != nil || g.applied-g.snapshotIndex < g.cfg.SnapshotEntries || now < g.snapshotRetryAt {
 		return
 	}
 	meta, ok := g.node.SnapshotMetaAt(g.applied)
 	if !ok {
+		// The log stays as it is, and the next flush tries again.
 		return
 	}
 	if err := g.storage.SaveSnapshot(meta, g.codec.EncodeState(g.state)); err != nil {
 		g.counts.SnapshotFailures++
-		g.nextSnapshot = now + g.cfg.RetryDelay
+		g.snapshotRetryAt = now + g.cfg.RetryDelay
 		return
 	}
 	g.snapshotIndex = meta.Index
@@ -140,12 +142,13 @@
 	g.node.Compact(meta)
 }
 
-// observeChanges reports a change of the role, term, leader, member list or disk
-// state, and fails the pending requests when the leadership was lost.
+// observeChanges reports a change of the role, term, leader or member list, or that
+// writes began to fail or succeed again. It fails the pending requests when the
+// leadership was lost.
 func (g *Group[S, C]) observeChanges() {
 	v := observedState{
 		role: g.node.Role(), term: g.node.Term(), leader: g.node.Leader(),
-		membersIndex: g.node.MembersIndex(), diskFailed: g.failedOutput != nil,
+		membersIndex: g.node.MembersIndex(), writeFailed: g.failedOutput != nil,
 	}
 	if v == g.observed {
 		return
--- a/core/coord/lender/sender.go
+++ b/core/coord/lender/sender.go
@@ -122,7 +122,8 @@
 	}
 }
 
-// Stop ends Run and waits until it has returned. The ledger must be stopped after
+// Stop ends Run and waits until it has returned. It must be called at most once, and
+// only if Run was called. The ledger must be stopped after
 // that, because Run returns the held loans with it.
 func (s *Sender[P, L, C]) Stop() {
 	close(s.done)
--- a/core/coord/mover/capacityplanner.go
+++ b/core/coord/mover/capacityplanner.go
@@ -11,7 +11,7 @@
 )
 
 // CapacityPlanner plans moves of instances between pools with package plan. It is
-// updated with the changes of the table and plans only after a change.
+// updated with the changes of the table. Moves says when it plans again.
 type CapacityPlanner[A plan.Policy, S plan.Chooser] struct {
 	*SurgePlanner[S]
 	policy   A
@@ -22,10 +22,12 @@
 	RepairAfter clock.Millis
 	index       *plan.FleetIndex
 	contracts   map[model.Customer]model.Contract
-	// lost holds the lost instances that are not replaced yet.
-	lost map[model.InstanceID]model.Instance
-	// dirty is set when something changed since the last assignment.
-	dirty          bool
+	// recentlyLost holds the lost instances until they have been lost for RepairAfter;
+	// only then are they passed to the index as lost.
+	recentlyLost map[model.InstanceID]model.Instance
+	// mustPlan makes the next call of Moves plan again. It is set after a change of the
+	// table, after RepairAfter of a lost instance, and by Invalidate.
+	mustPlan       bool
 	lastAssignment plan.Assignment
 }
 
@@ -40,9 +42,9 @@
 func (c *CapacityPlanner[A, S]) Reset() {
 	c.index = plan.NewFleetIndex(nil)
 	c.contracts = map[model.Customer]model.Contract{}
-	c.lost = map[model.InstanceID]model.Instance{}
+	c.recentlyLost = map[model.InstanceID]model.Instance{}
 	c.lastAssignment = plan.Assignment{}
-	c.dirty = false
+	c.mustPlan = false
 	c.SurgePlanner.Reset()
 }
 
@@ -61,35 +63,35 @@
 			list = append(list, c.contracts[n])
 		}
 		c.index.SetContracts(list)
-		c.dirty = true
+		c.mustPlan = true
 	}
 	for _, i := range d.Instances {
 		c.index.SetInstance(i, false)
-		delete(c.lost, i.ID)
+		delete(c.recentlyLost, i.ID)
 		if i.LostSince != 0 {
-			c.lost[i.ID] = i
+			c.recentlyLost[i.ID] = i
 		}
-		c.dirty = true
+		c.mustPlan = true
 	}
 }
 
 // Moves returns the release steps that start moves, and one Wait for each
-// requirement that no move can meet and each reaction to a surge. It plans again
-// only after a change of the table or of the surge extras, or when an instance has
-// been lost for RepairAfter.
+// requirement that no move can meet and each action chosen in a surge. It plans
+// again only after a change of the table or of the temporary instances that Extras
+// grants, when an instance has been lost for RepairAfter, or after Invalidate.
 func (c *CapacityPlanner[A, S]) Moves(t model.Table, now clock.Millis) ([]model.InstanceStep, []Wait) {
-	for id, i := range c.lost {
+	for id, i := range c.recentlyLost {
 		if now-i.LostSince >= c.RepairAfter {
 			c.index.SetInstance(i, true)
-			delete(c.lost, id)
-			c.dirty = true
+			delete(c.recentlyLost, id)
+			c.mustPlan = true
 		}
 	}
 	extras, changed := c.Extras(t, now)
-	if !c.dirty && !changed {
+	if !c.mustPlan && !changed {
 		return nil, c.waits()
 	}
-	c.dirty = false
+	c.mustPlan = false
 	c.lastAssignment = plan.AssignFromIndex(c.policy, c.settings, c.index, extras)
 	var steps []model.InstanceStep
 	for _, m := range c.lastAssignment.Moves {
@@ -104,13 +106,14 @@
 	return steps, c.waits()
 }
 
-// waits returns a Wait, which operators see in the Status, for each shortfall of the
-// last assignment and each current reaction to a surge.
+// waits returns the entries that operators see in the Status: a Wait for each
+// shortfall of the last assignment and each action that the last decision of the
+// SurgePlanner chose. Nothing waits for the latter; they only inform.
 func (c *CapacityPlanner[A, S]) waits() []Wait {
 	var waits []Wait
 	for _, s := range c.lastAssignment.Shortfalls {
 		waits = append(waits, Wait{
-			Reason: fmt.Sprintf("pool %s: %s %s: %d of %d: %s", s.Pool, s.Kind, s.Subject, s.Available, s.Required, s.Reason),
+			Reason: fmt.Sprintf("pool %s: %s %s: %d available of %d required: %s", s.Pool, s.Kind, s.Subject, s.Available, s.Required, s.Reason),
 		})
 	}
 	for _, r := range c.reasons {
@@ -121,4 +124,4 @@
 
 // Invalidate makes the next call of Moves plan again. Call it when the steps that
 // Moves returned are not known to be applied.
-func (c *CapacityPlanner[A, S]) Invalidate() { c.dirty = true }
+func (c *CapacityPlanner[A, S]) Invalidate() { c.mustPlan = true }
--- a/core/coord/record/record.go
+++ b/core/coord/record/record.go
@@ -99,8 +99,8 @@
 }
 
 // Record stamps the event and puts it into the ring. It never waits for space:
-// if the ring is full, the event is counted as lost, which leaves a gap in the
-// sequence numbers.
+// if the ring is full or Run has ended, the event is counted as lost, which leaves a
+// gap in the sequence numbers.
 func (r *Recorder) Record(e model.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/state/admit/admit_test.go
+++ b/core/state/admit/admit_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestSharesAddUpToTheTotal guards against shares that do not add up to the total
-// of the contract.
+// of the contract or differ by more than one, and against a share for a process that
+// is not listed.
 func TestSharesAddUpToTheTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := rapid.IntRange(0, 10_000).Draw(t, "total")
--- a/core/state/admit/controller.go
+++ b/core/state/admit/controller.go
@@ -85,9 +85,9 @@
 	Waiting int
 	// RetryTokens is the number of retries allowed now; at most retryBurst.
 	RetryTokens float64
-	// removed is set when the contract was removed while requests were in flight.
-	// The state is kept until they end, so that a new contract of the same
-	// customer counts them.
+	// removed is set when the contract was removed. If requests are in flight, the
+	// state is kept until they end, so that a new contract of the same customer counts
+	// them.
 	removed bool
 	queues  map[model.Pool]*Queue[R]
 }
@@ -99,7 +99,8 @@
 	// virtualTime is the virtual time of the last request that started, for
 	// weighted fair queueing.
 	virtualTime float64
-	// typicalRunTime is the smoothed run time in milliseconds; 0 without a sample.
+	// typicalRunTime is the smoothed run time in milliseconds; 0 until a sample is
+	// above 0.
 	typicalRunTime float64
 	// highRunTime estimates the runTimeQuantile quantile of the run times, in
 	// milliseconds.
@@ -313,8 +314,8 @@
 }
 
 // Next removes the waiter that runs next from the queues of a pool and counts it
-// as running; nil if none may run. Waiters at the head of a queue that can no
-// longer end before their deadline are removed and appended to late.
+// as running; nil if none may run. Waiters at the head of a queue that are no
+// longer likely to end before their deadline are removed and appended to late.
 func (c *Controller[P, R]) Next(now clock.Millis, p model.Pool, late []R) (*Waiter[R], []R) {
 	pq := c.pools[p]
 	if pq == nil {
--- a/core/state/admit/limit.go
+++ b/core/state/admit/limit.go
@@ -3,7 +3,8 @@
 import "camphorridge/core/state/model"
 
 // DefaultSlots is the number of slots assumed for an instance whose slots are not
-// in the table. The upstreams of both known operators have 8 slots.
+// in the table. 8 is the number of slots of the upstreams that operators
+// are known to run.
 const DefaultSlots = 8
 
 // Limit holds the limits of a customer over all entry processes or, after Divide,
@@ -21,8 +22,8 @@
 
 // LimitOf derives the limit from a contract. Without a concurrency in the contract,
 // MaxInFlight is the number of slots of the promised instances; slots returns the
-// slots of one instance of a pool. The weight is the concurrency, so that customers
-// get capacity in proportion to what they were promised.
+// slots of one instance of a pool. The weight is MaxInFlight, but at least 1, so
+// that customers get capacity in proportion to what they were promised.
 func LimitOf(c model.Contract, slots func(model.Pool) int) Limit {
 	n := c.Concurrency
 	if n == 0 {
@@ -34,8 +35,8 @@
 }
 
 // Divide returns the share of the entry process with the given rank among count
-// processes. The weight is not divided, because it is only compared with other
-// weights.
+// processes. RetryPercent is not divided, because each process applies it to its own
+// first attempts, nor is the weight, because it is only compared with other weights.
 func (l Limit) Divide(rank, count int) Limit {
 	l.MaxInFlight = Share(l.MaxInFlight, rank, count)
 	l.MaxQueued = Share(l.MaxQueued, rank, count)
--- a/core/state/admit/queue.go
+++ b/core/state/admit/queue.go
@@ -54,12 +54,13 @@
 			total += o.info.Weight
 		}
 	}
-	rate := float64(slots) * float64(q.info.Weight) / float64(total)
-	rate = min(rate, float64(q.Customer.Limit.MaxInFlight))
-	return clock.Millis(float64(q.length+1) * q.poolQueues.typicalRunTime / rate)
+	slotShare := float64(slots) * float64(q.info.Weight) / float64(total)
+	slotShare = min(slotShare, float64(q.Customer.Limit.MaxInFlight))
+	return clock.Millis(float64(q.length+1) * q.poolQueues.typicalRunTime / slotShare)
 }
 
-// Remove removes a waiter whose request was cancelled.
+// Remove removes a waiter whose request was cancelled. The waiter must still be in
+// the queue.
 func (q *Queue[R]) Remove(w *Waiter[R]) { q.remove(w) }
 
 func (q *Queue[R]) push(w *Waiter[R]) {
@@ -106,7 +107,8 @@
 	pq.active = pq.active[:end]
 }
 
-// advanceVirtualTime advances the virtual time of the queue by one request.
+// advanceVirtualTime sets the virtual time of the pool to that at which the next
+// request of the queue starts, and advances the queue's by one request.
 func (q *Queue[R]) advanceVirtualTime() {
 	q.info.VirtualTime = max(q.info.VirtualTime, q.poolQueues.virtualTime)
 	q.poolQueues.virtualTime = q.info.VirtualTime
@@ -135,16 +137,17 @@
 	return out
 }
 
-// dropUnfinishable removes the waiters at the heads of the queues that cannot end
-// in time: their deadline is at or before end, the time by which a request that
-// starts now is likely to have ended.
-func (pq *poolQueues[R]) dropUnfinishable(end clock.Millis, late []R) []R {
+// dropUnfinishable removes waiters that are not likely to end in time and appends
+// them to dropped: their deadline is at or before likelyEnd, the time by which a
+// request that starts now is likely to have ended. It stops in each queue at the
+// first waiter with a later deadline.
+func (pq *poolQueues[R]) dropUnfinishable(likelyEnd clock.Millis, dropped []R) []R {
 	for i := len(pq.active) - 1; i >= 0; i-- {
 		q := pq.active[i]
-		for q.first != nil && q.first.Deadline <= end {
-			late = append(late, q.first.Ref)
+		for q.first != nil && q.first.Deadline <= likelyEnd {
+			dropped = append(dropped, q.first.Ref)
 			q.remove(q.first)
 		}
 	}
-	return late
+	return dropped
 }
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -76,9 +76,9 @@
 	}}
 }
 
-// checkPools checks that a change lowered no version, that no instance changed its
-// pool or left it without a release, and that OutOfServiceSince is set if and only
-// if the instance is out of service.
+// checkPools checks that a change lowered no version and changed no retired instance,
+// that no instance changed its pool or left it without a release, and that
+// OutOfServiceSince is set if and only if the instance is out of service.
 func checkPools(t *rapid.T, before, after model.Table) {
 	assert.Assert(t, after.Version >= before.Version)
 	for _, is := range after.Instances {
@@ -106,8 +106,8 @@
 	closed map[model.ClaimKey]bool
 }
 
-// check fails if a key is granted while another attempt holds it or after its
-// request has ended.
+// check fails if a key is granted to a claim without a token, while another attempt
+// holds it, or after its request has ended.
 func (l *claimLog) check(t *rapid.T, c model.Change, r model.Result) {
 	for i, a := range r.Claims {
 		if k := c.Claims[i]; a.Granted {
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -9,7 +9,7 @@
 // attempt claims it again, for example because the answer was lost, the claim is
 // granted again as long as the request has not finished. Claims without a token
 // are refused, because two attempts without one could not be told apart and
-// would both be granted.
+// would both be granted. Claims without a key are refused too.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
 	s.setIncarnation(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
@@ -33,7 +33,8 @@
 // setIncarnation records the incarnation of an entry process. When it has grown,
 // the requests of earlier incarnations have ended with their process, so the
 // state of their running claims becomes unknown. All claims are scanned once for
-// each new incarnation.
+// each new incarnation of a process whose earlier incarnation is recorded. When
+// MaxIncarnations processes are recorded, those of further processes are ignored.
 func (s *State) setIncarnation(p model.Process, incarnation uint64) {
 	current, known := s.Incarnations[p]
 	if p == "" || incarnation <= current || (!known && len(s.Incarnations) >= MaxIncarnations) {
--- a/core/state/fleet/expiring_map.go
+++ b/core/state/fleet/expiring_map.go
@@ -2,9 +2,10 @@
 
 import "camphorridge/core/state/clock"
 
-// ExpiringMap is a map whose entries expire after a lifetime. When it holds more
-// than Limit keys, the oldest are dropped. Times must not decrease from one Put
-// to the next.
+// ExpiringMap is a map whose entries expire after a lifetime. Only Put and Expire
+// drop expired entries; until then the other methods still see them. When the map
+// holds more than Limit keys, Put and Expire drop the oldest. Times must not decrease
+// from one Put to the next.
 type ExpiringMap[K comparable, V any] struct {
 	// Limit is the largest number of keys; at least 1.
 	Limit    int
@@ -31,23 +32,25 @@
 	time clock.Millis
 }
 
-// minStaleKeys is the number of stale entries in order below which a compaction
-// is not worth the copy.
-const minStaleKeys = 64
+// staleMargin is how far the stale entries in order may outnumber the keys held
+// before they are dropped. Without it, a map with few keys would copy order after
+// every few Puts.
+const staleMargin = 64
 
 // NewExpiringMap returns an empty map. A limit below 1 counts as 1.
 func NewExpiringMap[K comparable, V any](limit int, lifetime clock.Millis) *ExpiringMap[K, V] {
 	return &ExpiringMap[K, V]{Limit: max(limit, 1), Lifetime: lifetime, items: map[K]mapEntry[V]{}}
 }
 
-// Get returns the value of a key; ok is false if the map does not hold the key.
+// Get returns the value of a key, also if it has expired but was not dropped yet; ok
+// is false if the map does not hold the key.
 func (m *ExpiringMap[K, V]) Get(k K) (v V, ok bool) {
 	entry, ok := m.items[k]
 	return entry.value, ok
 }
 
 // Put sets the value of a key, starts its lifetime at now, and drops expired
-// entries.
+// entries and, beyond Limit, the oldest ones.
 func (m *ExpiringMap[K, V]) Put(k K, v V, now clock.Millis) {
 	m.lastID++
 	m.items[k] = mapEntry[V]{value: v, time: now, id: m.lastID}
@@ -56,11 +59,12 @@
 	m.compact()
 }
 
-// compact drops the stale entries of order once they outnumber the keys held.
+// compact drops the stale entries of order once they outnumber the keys held by more
+// than staleMargin.
 // Without it, a single old key at the front would keep all stale entries behind
 // it for a whole lifetime.
 func (m *ExpiringMap[K, V]) compact() {
-	if len(m.order) <= 2*len(m.items)+minStaleKeys {
+	if len(m.order) <= 2*len(m.items)+staleMargin {
 		return
 	}
 	kept := make([]orderedKey[K], 0, len(m.items))
@@ -72,8 +76,8 @@
 	m.order = kept
 }
 
-// Update changes the value of a key without extending its lifetime. It does
-// nothing if the map does not hold the key.
+// Update changes the value of a key without extending its lifetime, also if it has
+// expired but was not dropped yet. It does nothing if the map does not hold the key.
 func (m *ExpiringMap[K, V]) Update(k K, v V) {
 	entry, ok := m.items[k]
 	if !ok {
@@ -86,7 +90,7 @@
 // Remove deletes a key.
 func (m *ExpiringMap[K, V]) Remove(k K) { delete(m.items, k) }
 
-// Len returns the number of keys held.
+// Len returns the number of keys held, including expired ones not dropped yet.
 func (m *ExpiringMap[K, V]) Len() int { return len(m.items) }
 
 // Expire drops the entries that are older than the lifetime, and the oldest
@@ -106,7 +110,8 @@
 	}
 }
 
-// Each calls f for every key held, oldest first; t is the time of its Put.
+// Each calls f for every key held, oldest first and including expired ones not
+// dropped yet; t is the time of its Put.
 func (m *ExpiringMap[K, V]) Each(f func(k K, v V, t clock.Millis)) {
 	for _, o := range m.order {
 		entry, ok := m.items[o.key]
--- a/core/state/fleet/expiring_map_test.go
+++ b/core/state/fleet/expiring_map_test.go
@@ -9,9 +9,9 @@
 	"camphorridge/core/state/clock"
 )
 
-// TestExpiringMapBounds guards against a map that exceeds its limit, that drops
-// keys in another order than that of the Puts, or whose list of keys grows with
-// removed keys while an old key stays at its front.
+// TestExpiringMapBounds guards against a map that after a Put exceeds its limit, holds
+// expired keys or lists its keys in another order than that of the Puts, or whose list
+// of keys grows with removed keys while an old key stays at its front.
 func TestExpiringMapBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewExpiringMap[int, int](5, 100)
@@ -27,7 +27,7 @@
 			v, ok := m.Get(k)
 			assert.Assert(t, ok && v == n)
 			assert.Assert(t, m.Len() <= m.Limit)
-			assert.Assert(t, len(m.order) <= 2*m.Len()+minStaleKeys+1, "%d keys in order for %d held", len(m.order), m.Len())
+			assert.Assert(t, len(m.order) <= 2*m.Len()+staleMargin+1, "%d keys in order for %d held", len(m.order), m.Len())
 			last := clock.Millis(-1)
 			m.Each(func(_, _ int, at clock.Millis) {
 				assert.Assert(t, at >= last && at+m.Lifetime > now)
--- a/core/state/member/error.go
+++ b/core/state/member/error.go
@@ -18,8 +18,8 @@
 	// KindAddress: another address was announced under the same incarnation,
 	// or the address is in use by another instance.
 	KindAddress
-	// KindStale: the announcement is older than its lease or than the recorded
-	// state of the instance.
+	// KindStale: the age of the announcement is negative or not below the lease, or
+	// the instance is recorded as leaving under the same incarnation.
 	KindStale
 )
 
--- a/core/state/member/member_test.go
+++ b/core/state/member/member_test.go
@@ -23,8 +23,9 @@
 	return ReceivedAnnouncement{Announcement: a, Direct: true}
 }
 
-// TestAcceptRules guards against accepting announcements that contradict the
-// recorded state.
+// TestAcceptRules guards against accepting announcements that are invalid, too old,
+// from another zone, or contradict the recorded state, and against refusing one after
+// a restart with another pool and address.
 func TestAcceptRules(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/core/state/member/roster.go
+++ b/core/state/member/roster.go
@@ -114,7 +114,8 @@
 }
 
 // Accept records an announcement, or returns an *Error if it is refused. changed
-// reports whether anything but the lease has changed.
+// is true if the announcement differs from the recorded one, if none was recorded, or
+// if Expire had reported the end of its lease.
 func (r *Roster) Accept(now clock.Millis, ra ReceivedAnnouncement) (changed bool, err error) {
 	r.Tick(now)
 	if e := r.check(now, ra); e != nil {
@@ -199,8 +200,8 @@
 	return nil
 }
 
-// Expire marks the records whose lease has ended, appends them to buf, and drops
-// those whose lease ended more than ForgetAfter ago.
+// Expire marks the records whose lease has ended since the last call and appends them
+// to buf. It drops marked records whose lease ended more than ForgetAfter ago.
 func (r *Roster) Expire(now clock.Millis, buf []Record) []Record {
 	r.Tick(now)
 	for id, rec := range r.records {
--- a/core/state/route/eject.go
+++ b/core/state/route/eject.go
@@ -90,7 +90,7 @@
 
 // restoreMinimum ends ejections, the one that would end soonest first, until half
 // of the pool's upstreams are in service. It is called after an upstream left the
-// pool, or joined it while it was still ejected.
+// pool, and after one joined it, which may still be ejected.
 func (pu *poolUpstreams) restoreMinimum(now clock.Millis) {
 	for {
 		inService := 0
--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -28,29 +28,29 @@
 		return buf
 	}
 	for i := range pu.members {
-		// Each request routed to the pool rotates which upstream comes first, so
-		// that loans spread over the upstreams.
+		// Each choice of the policy in the pool rotates which upstream comes first,
+		// so that loans spread over the upstreams.
 		u := pu.members[(i+int(pu.choices%uint64(len(pu.members))))%len(pu.members)]
 		if !u.Ejected(now) {
-			buf = append(buf, u.slots(waiting))
+			buf = append(buf, u.slotsForLender(waiting))
 		}
 	}
 	return buf
 }
 
-// UpstreamSlots returns the slots of an upstream for the lender; false if the
-// upstream is not routable.
+// UpstreamSlots returns the slots of an upstream for the lender, even if it is
+// ejected; false if the upstream is not routable.
 func (r *Router[P]) UpstreamSlots(id model.InstanceID, waiting func(model.Pool) int) (lend.UpstreamSlots, bool) {
 	u := r.upstreams[id]
 	if u == nil || u.Pool == "" {
 		return lend.UpstreamSlots{}, false
 	}
-	return u.slots(waiting(u.Pool)), true
+	return u.slotsForLender(waiting(u.Pool)), true
 }
 
-// slots describes the slots of the upstream to the lender. waiting is the number of
+// slotsForLender describes the slotsForLender of the upstream to the lender. waiting is the number of
 // queued requests of its pool.
-func (u *Upstream) slots(waiting int) lend.UpstreamSlots {
+func (u *Upstream) slotsForLender(waiting int) lend.UpstreamSlots {
 	return lend.UpstreamSlots{
 		Loan: lend.Loan{
 			Instance: u.Instance, Pool: u.Pool, Address: u.Address,
@@ -61,8 +61,8 @@
 	}
 }
 
-// RotatePeaks starts a new peak window for all upstreams: Peak becomes
-// PreviousPeak.
+// RotatePeaks starts a new peak window for all upstreams: Peak becomes PreviousPeak
+// and starts again at the number of requests in flight.
 func (r *Router[P]) RotatePeaks() {
 	for _, u := range r.upstreams {
 		u.PreviousPeak, u.Peak = u.Peak, u.Running
--- a/core/state/route/route_test.go
+++ b/core/state/route/route_test.go
@@ -63,7 +63,7 @@
 
 // TestOnlyAgreedUpstreamsAreRoutable guards against new requests on an instance
 // that is leaving, expired, released, or whose zone or pool differs between the
-// table and its announcement.
+// table and its announcement, and against one that never becomes routable again.
 func TestOnlyAgreedUpstreamsAreRoutable(t *testing.T) {
 	for name, change := range map[string]func(i *model.Instance, a *model.Announcement, live *bool){
 		"leaving":                 func(_ *model.Instance, a *model.Announcement, _ *bool) { a.State = model.AnnounceLeaving },
@@ -293,7 +293,8 @@
 }
 
 // TestLeastLoadedEvensOut guards against a choice that ignores the load, as the
-// round-robin baseline does.
+// round-robin baseline does, and against choosing the upstream to avoid while another
+// has free capacity.
 func TestLeastLoadedEvensOut(t *testing.T) {
 	// requestsOnStuckUpstream returns how many of 100 requests i0 gets if its
 	// requests never end and all others end at once.
--- a/core/state/route/router.go
+++ b/core/state/route/router.go
@@ -63,8 +63,7 @@
 }
 
 // SetInstance adds the table entry of an instance or replaces it. An instance of
-// another zone is ignored unless the router already has an entry or an announcement
-// of it. previousVersion is the version of the table before the change.
+// another zone is ignored unless the router already holds an upstream for it. previousVersion is the version of the table before the change.
 func (r *Router[P]) SetInstance(now clock.Millis, i model.Instance, previousVersion model.Version) {
 	u := r.upstreams[i.ID]
 	if i.Zone != r.cfg.Zone {
@@ -157,7 +156,8 @@
 }
 
 // shares returns this process's share of the slots and connections. Both the
-// table and the announcement limit them; 0 in the table means unknown.
+// table and the announcement limit them; 0 in the table means unknown. The share of
+// slots is at most that of connections.
 func (r *Router[P]) shares(u *Upstream) (slots, conns int) {
 	slots, conns = u.announcement.Slots, u.announcement.Connections
 	if u.tableEntry.Slots > 0 {
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -244,7 +244,7 @@
 	registerCounters(r, []counter{
 		{"proposals", memberCount(func(n group.Counts) int64 { return n.Proposals })},
 		{"log-writes", memberCount(func(n group.Counts) int64 { return n.LogWrites })},
-		{"log-write-failures", memberCount(func(n group.Counts) int64 { return n.DiskFailures })},
+		{"log-write-failures", memberCount(func(n group.Counts) int64 { return n.WriteFailures })},
 		{"snapshots", memberCount(func(n group.Counts) int64 { return n.Snapshots })},
 		{"snapshot-failures", memberCount(func(n group.Counts) int64 { return n.SnapshotFailures })},
 		{"proposals-unknown", memberCount(func(n group.Counts) int64 { return n.OutcomesUnknown })},
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -147,7 +147,7 @@
 			Detail: fmt.Sprintf("%s in term %d", s.Role, s.Term),
 		})
 	}
-	if s.DiskError != "" && (before == nil || before.DiskError == "") {
-		r.ctrl.record(model.Event{Kind: model.EventRole, Detail: "writing to the disk fails: " + s.DiskError})
+	if s.WriteError != "" && (before == nil || before.WriteError == "") {
+		r.ctrl.record(model.Event{Kind: model.EventRole, Detail: "writing to the disk fails: " + s.WriteError})
 	}
 }
--- a/io/trans/roles/jobs_test.go
+++ b/io/trans/roles/jobs_test.go
@@ -15,10 +15,13 @@
 	"camphorridge/io/trans/logs"
 )
 
-// TestNoteLines guards against log lines of decisions that lack the job or the worker
-// or have the wrong level. Operators who investigate a complaint search for these.
+// TestNoteLines guards against log lines of decisions that lack the job or the worker,
+// have the wrong level or are broken by a line break in the reason, and against lines
+// for started runs, which are only counted. Operators who investigate a complaint
+// search for these lines.
 func TestNoteLines(t *testing.T) {
 	var out bytes.Buffer
+	// The fake clock stands at 1_796_382_000_123 ms since 1970.
 	l, err := logs.New(&out, logs.Settings{Level: "info", Process: "c1", Zone: "zone-a"}, clock.NewFake(1_796_382_000_123).Clock())
 	assert.NilError(t, err)
 	c := &Control{log: l}
