Name the slots of an upstream in the comment of slotsForLender

Read badly: the rename had also replaced the word slots in the sentence. Now it says "describes the slots of the upstream". Checks: go vet of the package.

--- a/core/state/route/loan.go
+++ b/core/state/route/loan.go
@@ -48,8 +48,8 @@
 	return u.slotsForLender(waiting(u.Pool)), true
 }
 
-// slotsForLender describes the slotsForLender of the upstream to the lender. waiting is the number of
-// queued requests of its pool.
+// slotsForLender describes the slots of the upstream to the lender. waiting is the
+// number of queued requests of its pool.
 func (u *Upstream) slotsForLender(waiting int) lend.UpstreamSlots {
 	return lend.UpstreamSlots{
 		Loan: lend.Loan{
