Say which deltas Merge refuses and how long Apply knows a request

Read badly: Merge seemed to refuse a full delta that starts elsewhere, and Apply to know every earlier request. Now both limits are named. Checks: tests of fleet.

--- a/core/state/fleet/apply.go
+++ b/core/state/fleet/apply.go
@@ -11,7 +11,7 @@
 
 // Apply applies the change at the given log index and returns its result. A
 // change whose request was answered before is not applied again and gets the
-// stored result. The index must be above the state's index.
+// stored result, as long as Results holds it. The index must be above the state's index.
 func (s *State) Apply(index model.Version, c model.Change) model.Result {
 	s.Index = index
 	s.Time = max(s.Time, c.Time)
--- a/core/state/fleet/steps.go
+++ b/core/state/fleet/steps.go
@@ -217,7 +217,7 @@
 }
 
 // Merge applies a delta to a table. It returns false and changes nothing if the
-// delta would lower the table's version or does not start at it.
+// delta would lower the table's version or, unless it is full, does not start at it.
 func Merge(t *model.Table, d model.Delta) bool {
 	if d.To < t.Version || (!d.Full && d.From != t.Version) {
 		return false
