Say what the planner's passes, waves, timers and limits do

Comments said less or other than the code: checks of deadlines also record unmet deadlines and set timers, an item without a wave keeps a stale deadline, nextRelease prefers the limit of the whole pool to the first one, the deadline of the periodic wave is that of the late instance counted last. canaryReturnedAt is now touchedMaintainedAt, since it is overwritten by each touched instance; the test method lose is now setLost, since it also ends a loss.

Checks: go vet and go test -short of maint, limits and trail.

--- a/core/state/limits/deadline.go
+++ b/core/state/limits/deadline.go
@@ -8,10 +8,11 @@
 	"camphorridge/core/state/model"
 )
 
-// maintenanceShortfalls returns a shortfall for every maintenance deadline that the
-// disruption limits make impossible to meet, for declarations and for periodic
-// maintenance. In pools shared with another customer, the limits of both customers
-// restrict maintenance, so those of the other customer are checked too.
+// maintenanceShortfalls returns a shortfall for every maintenance deadline and
+// disruption limit that makes the deadline impossible to meet, for declarations and
+// for periodic maintenance. In pools shared with another customer, the limits of both
+// customers restrict maintenance, so for declarations those of the other customer are
+// checked too.
 func maintenanceShortfalls(settings Settings, in Input) []Shortfall {
 	var out []Shortfall
 	own := poolsOf(in.Contract)
@@ -94,7 +95,7 @@
 }
 
 // allowedByBudget returns the number of maintenances that the window budget allows
-// in the time left: one full budget for each window that has started.
+// in the time left: one full budget for each window that begins in this time.
 func allowedByBudget(settings Settings, c model.Contract, left clock.Millis) int64 {
 	if c.WindowMillis == 0 {
 		return Unbounded
--- a/core/state/limits/evaluate.go
+++ b/core/state/limits/evaluate.go
@@ -211,7 +211,8 @@
 
 // smallestMaxLoad returns the number of instances in the fullest domain when total
 // instances are spread over the domains as evenly as possible, and the name of the
-// first domain that can hold as many.
+// first domain that can hold as many. If the domains cannot hold total instances, the
+// number is the size of the largest domain.
 func smallestMaxLoad(sizes []domainSize, total int) (load int, name string) {
 	largest := 0
 	for _, s := range sizes {
--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -73,7 +73,8 @@
 
 // setPeakUnserved sets the share of unserved requests in the present minute. Hours
 // with load peaks alternate with quiet hours, shifted by peakShift. In an hour with
-// peaks, half of the minutes have a peak that exceeds the capacity of the pool: the
+// peaks, about half of the minutes, chosen at random, have a peak that exceeds the
+// capacity of the pool: the
 // share is 20 permille with a complete fleet and 25 permille more for each instance
 // out of service. The planner gets a moving average over about four minutes, because
 // peaks are shorter than a maintenance.
@@ -112,8 +113,8 @@
 	}
 }
 
-// benchPasses reports as board-KiB the heap memory of a planner with the whole
-// fleet loaded, in KiB.
+// benchPasses measures passes of a planner for the fleet. It also reports as
+// board-KiB the heap memory of the planner after the first pass, in KiB.
 func benchPasses(b *testing.B, f *fakeFleet, scan bool) {
 	set := Defaults()
 	set.FullScan = scan
@@ -146,7 +147,7 @@
 			if lost {
 				down = ids[k*11%len(ids)]
 			}
-			f.lose(down, lost)
+			f.setLost(down, lost)
 			planner.SetObservation(down, f.observations[down])
 		}
 		f.outages = f.outages[:0]
@@ -187,8 +188,8 @@
 }
 
 // runWave runs a wave for four hours. The request counts of a returned instance
-// start at 0 and grow by 8 a minute, of which one in 400 fails, as on its peers. If
-// bad is set, one in eight fails in addition.
+// start at 0 and grow by 8 a minute for 25 minutes. On average, one request in 400
+// fails, as on its peers; if bad is set, one in eight fails in addition.
 func runWave[S StopPolicy](policy S, seed uint64, bad bool) *fakeFleet {
 	f := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	f.declare(8 * clock.Hour)
--- a/core/state/maint/count.go
+++ b/core/state/maint/count.go
@@ -45,7 +45,8 @@
 }
 
 // count adds the item to all counts as of now and sets a timer for the next time
-// at which they change without an input.
+// at which they may change without an input. It does nothing if the item is counted
+// already or its instance is retired.
 func (pl *Planner[P, S]) count(it *item, now clock.Millis) {
 	if it.counted || it.inst.Phase == model.PhaseRetired {
 		return
@@ -100,8 +101,10 @@
 }
 
 // countInWave counts the instance for one wave: as pending if the wave still has to
-// maintain it, as touched or peer, and as observed once CanaryMillis have passed
-// since its MaintainedAt.
+// maintain it, as touched or peer, and as observed if its MaintainedAt is not before
+// the declaration and at least CanaryMillis ago. It sets the item's wave to this one
+// if the wave still has to maintain the instance, by an earlier deadline than the
+// waves counted before.
 func (pl *Planner[P, S]) countInWave(it *item, w *wave, stuck bool, now clock.Millis) {
 	if deadline, ok := w.needs(pl.settings, it.inst, now); ok {
 		it.pendingIn = append(it.pendingIn, w)
@@ -116,7 +119,7 @@
 	if w.maintained(pl.settings, it.inst, now) || (stuck && slices.Contains(it.pendingIn, w)) {
 		it.touchedBy = append(it.touchedBy, w)
 		w.touched.add(it.tally, 1)
-		w.canaryReturnedAt = it.inst.MaintainedAt
+		w.touchedMaintainedAt = it.inst.MaintainedAt
 	} else {
 		it.peerIn = append(it.peerIn, w)
 		w.peers.add(it.tally, 1)
@@ -162,8 +165,8 @@
 	}
 }
 
-// nextChange returns the earliest time after now at which count would count the
-// item differently even if no input changes; 0 for never.
+// nextChange returns the earliest time after now at which count may count the item
+// differently even if no input changes; 0 for never.
 func (pl *Planner[P, S]) nextChange(it *item, now clock.Millis) clock.Millis {
 	next := clock.Millis(0)
 	consider := func(t clock.Millis) {
@@ -252,8 +255,9 @@
 	pl.recheckAllWaves()
 }
 
-// setTimer schedules the evaluation of a pool or a wave; key is "pool " or
-// "wave " followed by the name.
+// setTimer schedules the evaluation of a pool or a wave, unless an evaluation at
+// that time or earlier is scheduled already. key is "pool " or "wave " followed by
+// the name.
 func (pl *Planner[P, S]) setTimer(key string, t timer) {
 	if earliest, ok := pl.timerByKey[key]; ok && earliest <= t.at {
 		return
--- a/core/state/maint/customer.go
+++ b/core/state/maint/customer.go
@@ -111,7 +111,8 @@
 }
 
 // lostInOtherDomain reports whether an instance outside the given domain is
-// lost. Unlike disruptedInOtherDomain, it ignores planned maintenance.
+// lost. Unlike disruptedInOtherDomain, it ignores instances in maintenance, even if
+// they are lost too.
 func (cs *customerState) lostInOtherDomain(domain string) bool {
 	for _, u := range cs.unavailable {
 		if u.cause == causeLoss && u.domain != domain {
--- a/core/state/maint/deadline_check.go
+++ b/core/state/maint/deadline_check.go
@@ -8,8 +8,10 @@
 	"camphorridge/core/state/model"
 )
 
-// checkDeadlines checks the deadlines of the waves in wavesToCheck. It adds to the
-// plan every deadline that cannot be met, also those found by earlier checks.
+// checkDeadlines checks the deadlines of the waves in wavesToCheck, empties
+// wavesToCheck and sets the timers of the next checks. It adds to the plan the unmet
+// deadlines of every wave that has pending instances, including those found by
+// earlier checks.
 func (pl *Planner[P, S]) checkDeadlines(now clock.Millis, plan *Plan) {
 	for _, name := range pl.waveNames {
 		w := pl.waves[name]
@@ -32,12 +34,16 @@
 	clear(pl.wavesToCheck)
 }
 
-// checkWave estimates for each customer when the wave will be done and returns
-// the time of the next check, or 0 if none is needed. To notice a change early
-// enough, the next check follows after an eighth of the time left, but not before
-// one maintenance could have ended. One check always takes place at the last time
-// at which maintenance can start and still meet the deadline; from then on they
-// follow every quarter of a maintenance.
+// checkWave estimates for each customer when the wave will be done, records in
+// w.unmet the deadlines that it expects to be missed, and returns the time of the
+// next check, or 0 if none is needed. Pools without a contract have no estimate;
+// their instances count as late once it is too late to start their maintenance.
+//
+// The latest start is the last time at which maintenance can start and still meet
+// the deadline. To notice a change early enough, the next check follows after an
+// eighth of the time left until the latest start, but not before one maintenance
+// could have ended. One check always takes place at the latest start; from then on,
+// checks follow every quarter of a maintenance.
 func (pl *Planner[P, S]) checkWave(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	if len(w.pending) == 0 && w.decl.DeclaredAt <= now {
@@ -75,15 +81,16 @@
 	// waiting counts the instances whose maintenance has not started, by failure
 	// domain.
 	waiting map[string]int
-	// expectedEnds holds the expected end times of the maintenances in progress.
-	// These are all in busyDomain, because a customer's instances are maintained
-	// in one domain at a time.
+	// expectedEnds holds the expected end times of the customer's maintenances in
+	// progress, including those of other waves. These are all in busyDomain, because
+	// a customer's instances are maintained in one domain at a time.
 	expectedEnds []clock.Millis
 	busyDomain   string
 }
 
 // backlogOf returns the backlog of a customer in the wave. total is the number
-// of its pending instances, including those in progress.
+// of the customer's instances that are pending in the wave, including those in
+// progress.
 func (pl *Planner[P, S]) backlogOf(w *wave, cs *customerState, now clock.Millis) (b backlog, total int) {
 	b.waiting = map[string]int{}
 	ownPools := map[model.Pool]bool{}
@@ -91,8 +98,8 @@
 		ownPools[p] = true
 		total += w.byPool[p]
 	}
-	// Under DomainInstance each instance is its own domain. These are counted
-	// as one domain, and estimate lets only one of them start at a time.
+	// Under DomainInstance each instance is its own domain. All instances are
+	// counted as one domain here, and estimate lets only one of them start at a time.
 	domain := func(i model.Instance) string {
 		if cs.contract.Covers == model.DomainInstance {
 			return ""
@@ -185,7 +192,7 @@
 }
 
 // canaryDone returns the time from which maintenance of instances other than the
-// canary may start.
+// canary is expected to be allowed.
 func (pl *Planner[P, S]) canaryDone(w *wave, b backlog, now clock.Millis) clock.Millis {
 	switch {
 	case w.observedCount > 0:
@@ -193,15 +200,17 @@
 	case w.inProgress > 0:
 		return slices.Max(append(b.expectedEnds, now)) + pl.settings.CanaryMillis
 	case w.touched.Instances > 0:
-		return max(now, w.canaryReturnedAt+pl.settings.CanaryMillis)
+		return max(now, w.touchedMaintainedAt+pl.settings.CanaryMillis)
 	default:
 		return now + pl.settings.MaintenanceMillis + pl.settings.CanaryMillis
 	}
 }
 
 // busyDomainEnd returns the time at which the domain with maintenance in progress
-// is done, with at most maxConcurrent concurrent maintenances. When one ends, that
-// of the next waiting instance of the domain starts, but not before canaryDone.
+// is done, with at most maxConcurrent concurrent maintenances, but not before
+// canaryDone. When one maintenance ends, that of the next waiting instance of the
+// domain starts, but not before canaryDone. If no maintenance is in progress,
+// busyDomainEnd returns canaryDone.
 func (pl *Planner[P, S]) busyDomainEnd(b backlog, canaryDone clock.Millis, maxConcurrent int) clock.Millis {
 	if len(b.expectedEnds) == 0 {
 		return canaryDone
@@ -218,8 +227,9 @@
 	return max(canaryDone, ends[len(ends)-1])
 }
 
-// checkPeriod records for each pool how many instances the periodic wave can no
-// longer maintain in time, and returns the time of the next check.
+// checkPeriod records for each pool how many due instances have reached the latest
+// time at which their periodic maintenance can start and still meet the deadline,
+// and returns the time of the next check.
 func (pl *Planner[P, S]) checkPeriod(w *wave, now clock.Millis) clock.Millis {
 	w.unmet = nil
 	next := now + max(pl.settings.MarginMillis/2, pl.settings.MaintenanceMillis)
--- a/core/state/maint/due_queue.go
+++ b/core/state/maint/due_queue.go
@@ -77,8 +77,8 @@
 }
 
 // racksByDeadline returns the racks in the order of their earliest deadlines.
-// Racks with equal deadlines are sorted by zone, then by rack, so that all racks
-// of one zone come before those of the next.
+// Racks with equal deadlines are sorted by zone, then by rack, so that among them
+// all racks of one zone come before those of the next.
 func (q *dueQueue) racksByDeadline() []*rackQueue {
 	out := slices.Clone(q.racks)
 	slices.SortStableFunc(out, func(a, b *rackQueue) int {
--- a/core/state/maint/fake_fleet_test.go
+++ b/core/state/maint/fake_fleet_test.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// lose starts or ends an unplanned loss of a serving instance.
-func (f *fakeFleet) lose(id model.InstanceID, lost bool) {
+// setLost starts or ends an unplanned loss of a serving instance.
+func (f *fakeFleet) setLost(id model.InstanceID, lost bool) {
 	s := f.observations[id]
 	if f.instances[id].Phase != model.PhaseServing || (s.LostSince > 0) == lost {
 		return
--- a/core/state/maint/input.go
+++ b/core/state/maint/input.go
@@ -163,7 +163,8 @@
 	Reason  string
 }
 
-// UnmetDeadline is a deadline that cannot be met under the present limits.
+// UnmetDeadline is a deadline that is not expected to be met under the present
+// limits.
 type UnmetDeadline struct {
 	Wave string
 	// Customer is empty for the periodic wave and for instances of pools without a
@@ -171,10 +172,13 @@
 	Customer model.Customer
 	// Pool is set for the periodic wave only, which is checked by pool.
 	Pool model.Pool
-	// Remaining is the number of instances of the customer or pool still to be
-	// maintained. For the periodic wave it counts only those that are late.
+	// Remaining is the number of instances still to be maintained: those of the
+	// customer or, if Customer is empty, those of all pools without a contract. For
+	// the periodic wave it counts only the late instances of the pool.
 	Remaining int
-	Deadline  clock.Millis
+	// Deadline is that of the declaration. For the periodic wave, whose instances have
+	// different deadlines, it is that of the late instance that was counted last.
+	Deadline clock.Millis
 	// Estimate is the time at which the last instance will be done; 0 for never.
 	// The periodic wave has no estimate and leaves it 0.
 	Estimate clock.Millis
--- a/core/state/maint/limit.go
+++ b/core/state/maint/limit.go
@@ -20,9 +20,9 @@
 )
 
 // nextRelease returns the next instance of the pool that may be released. If there
-// is none, it returns a Wait with the first limit that blocks one; nil if no
-// instance is due. selected holds the instances already selected for release in
-// this pass.
+// is none, it returns a Wait with a limit that blocks the whole pool or, without such
+// a limit, the first limit found; nil if no instance is due that is not in selected.
+// selected holds the instances already selected for release in this pass.
 func (pl *Planner[P, S]) nextRelease(p model.Pool, now clock.Millis, selected map[*item]bool) (*item, *Wait) {
 	var firstWait *Wait
 	var blockedWaves []*wave
@@ -131,8 +131,9 @@
 	return scopeItem, false
 }
 
-// neededForDeadline returns the number of concurrent maintenances that just
-// meets the item's deadline.
+// neededForDeadline returns the number of concurrent maintenances with which all
+// instances of the customer that are pending in the item's wave are just done by the
+// item's deadline, or the contract's MaxUnavailable once that has passed.
 func (pl *Planner[P, S]) neededForDeadline(it *item, cs *customerState, now clock.Millis) int {
 	timeLeft := it.deadline - now
 	if timeLeft <= 0 {
--- a/core/state/maint/maint_test.go
+++ b/core/state/maint/maint_test.go
@@ -68,7 +68,7 @@
 		ids := sortedKeys(f.instances)
 		runFleet(t, f, FullSpeedPacer{}, NeverStop{}, settingsWithoutPeriod(), m.Deadline+clock.Hour, func() {
 			id := ids[f.rnd.IntN(len(ids))]
-			f.lose(id, f.rnd.IntN(1000) < losses)
+			f.setLost(id, f.rnd.IntN(1000) < losses)
 			if f.now == m.Deadline && f.unfinished(m) > 0 && f.firstUnmet[m.Name] == 0 {
 				t.Fatalf("%d instances are left at the deadline, which was not reported as unmet", f.unfinished(m))
 			}
@@ -191,8 +191,8 @@
 }
 
 // TestPeriodicMaintenance guards against an instance that is not maintained within
-// its period although the limits allow it. The first periods must all end within
-// the first five days.
+// its period although the limits allow it. Every instance must have been maintained
+// by day 5 of the fake clock, one period after the start on day 1.
 func TestPeriodicMaintenance(t *testing.T) {
 	f := newFakeFleet(5, 24, 3, 2, 2, model.DomainRack, 2)
 	set := Defaults()
--- a/core/state/maint/pacer.go
+++ b/core/state/maint/pacer.go
@@ -53,8 +53,9 @@
 	HaltPermille int
 }
 
-// MaxConcurrent returns the larger of the proportional limit and the number that
-// the deadline needs, within the limit of the contract.
+// MaxConcurrent returns 0 from HaltPermille on. Below, it returns the larger of the
+// proportional limit and the number that the deadline needs, within the limit of the
+// contract.
 func (p DeadlinePacer) MaxConcurrent(in PacerInput) int {
 	if in.UnservedPermille >= p.HaltPermille {
 		return 0
--- a/core/state/maint/pass.go
+++ b/core/state/maint/pass.go
@@ -28,8 +28,9 @@
 	return plan
 }
 
-// evaluateWaves applies the stop policy to each wave and adds the stopped ones to
-// the plan.
+// evaluateWaves applies the stop policy to each wave that has touched an instance and
+// adds the stopped ones to the plan. The pools of a wave that stops or continues
+// again are marked for evaluation.
 func (pl *Planner[P, S]) evaluateWaves(plan *Plan) {
 	for _, name := range pl.waveNames {
 		w := pl.waves[name]
@@ -76,8 +77,9 @@
 
 // planReleasing returns the step of a releasing instance: back to service if its
 // release is no longer allowed, for example after an unplanned loss, or over to
-// the platform once its release is confirmed. takenBack counts the releases taken
-// back in this pass, by customer. The kind is empty while the instance has to wait.
+// the platform once its release is confirmed. The kind is empty while the instance
+// has to wait. takenBack counts the releases taken back in this pass, by customer;
+// planReleasing adds a release that it takes back.
 func (pl *Planner[P, S]) planReleasing(it *item, now clock.Millis, takenBack map[model.Customer]int) (StepKind, string) {
 	reason := pl.takeBackReason(it, now, takenBack)
 	if reason != "" {
@@ -119,8 +121,9 @@
 
 func (pl *Planner[P, S]) outages(p model.Pool) []Outage { return pl.finishedOutages[p] }
 
-// planReleases adds releases of due instances in poolsToCheck. Pools are processed
-// in the order of their earliest deadlines.
+// planReleases adds releases of due instances in poolsToCheck and updates the waits
+// of these pools. Pools are processed in the order of their earliest deadlines. Those
+// with releases are marked again for the next pass.
 func (pl *Planner[P, S]) planReleases(now clock.Millis, plan *Plan) {
 	pools := sortedKeys(pl.poolsToCheck)
 	clear(pl.poolsToCheck)
--- a/core/state/maint/planner.go
+++ b/core/state/maint/planner.go
@@ -42,10 +42,11 @@
 	// finishedOutages holds the finished outages by pool, in the order of the
 	// SetOutage calls.
 	finishedOutages map[model.Pool][]Outage
-	// openOutages holds the start time of each outage that has not ended.
+	// openOutages holds the start time of the outage that has not ended, by instance.
 	openOutages map[model.InstanceID]clock.Millis
 	timers      heap.Heap[timer]
-	// timerByKey holds the earliest time in timers for each pool and wave.
+	// timerByKey holds the earliest time for which a timer of a pool or wave was set;
+	// see setTimer. The entry is removed when any timer of the pool or wave expires.
 	timerByKey map[string]clock.Millis
 	// prunedAt is the time at which old outages were last dropped.
 	prunedAt clock.Millis
@@ -60,7 +61,9 @@
 	counted     bool
 	unavailable bool
 	// wave is the wave with the earliest deadline among those that still have to
-	// maintain the instance, and deadline its deadline; nil and 0 for none.
+	// maintain the instance, and deadline is the instance's deadline in that wave. If
+	// there is none, wave is nil or the placeholder of countInProgress, and deadline
+	// has no meaning.
 	wave     *wave
 	deadline clock.Millis
 	// pendingIn, touchedBy, peerIn and observedIn list the waves that count the
@@ -70,11 +73,14 @@
 	peerIn     []*wave
 	observedIn []*wave
 	tally      Tally
-	// timerAt is the earliest time in timers for this item; 0 for none.
+	// timerAt is the time of the item's timer; 0 for none. Timers of the item with
+	// other times have been replaced and are ignored when they expire.
 	timerAt clock.Millis
 }
 
-// NewPlanner returns a planner without instances.
+// NewPlanner returns a planner without instances. If periodic maintenance is
+// enabled, the planner has its wave. MaintenanceMillis and PacerRetryMillis are
+// raised to 1 if they are lower.
 func NewPlanner[P Pacer, S StopPolicy](pacer P, stopPolicy S, set Settings) *Planner[P, S] {
 	set.MaintenanceMillis = max(set.MaintenanceMillis, 1)
 	set.PacerRetryMillis = max(set.PacerRetryMillis, 1)
@@ -178,7 +184,8 @@
 	return it
 }
 
-// SetContract adds the contract of a customer or replaces it.
+// SetContract adds the contract of a customer or replaces it. The share of unserved
+// requests that was set for the customer is kept.
 func (pl *Planner[P, S]) SetContract(c model.Contract) {
 	unservedPermille := 0
 	if old := pl.customers[c.Customer]; old != nil {
@@ -256,8 +263,9 @@
 	pl.waveNames = slices.DeleteFunc(pl.waveNames, func(n string) bool { return n == name })
 }
 
-// SetOutage adds an outage. An outage with an end replaces the open outage of
-// the instance with the same start.
+// SetOutage adds an outage. An outage without an end replaces the open outage of the
+// instance, if there is one. An outage with an end replaces the open outage of the
+// instance only if that has the same start.
 func (pl *Planner[P, S]) SetOutage(o Outage) {
 	if it := pl.items[o.Instance]; it != nil {
 		pl.uncount(it)
@@ -277,7 +285,7 @@
 }
 
 // SetUnservedPermille sets the share of a customer's requests that were not served,
-// in permille.
+// in permille. It does nothing if the customer has no contract.
 func (pl *Planner[P, S]) SetUnservedPermille(c model.Customer, permille int) {
 	cs := pl.customers[c]
 	if cs == nil || cs.unservedPermille == permille {
@@ -295,8 +303,8 @@
 	}
 }
 
-// prune drops the outages that ended before every customer's budget window. It
-// scans all outages, so it runs only once an hour.
+// prune drops the outages that ended before the budget windows of all customers of
+// their pool. It scans all finished outages, so it does so at most once an hour.
 func (pl *Planner[P, S]) prune(now clock.Millis) {
 	if now < pl.prunedAt+clock.Hour {
 		return
--- a/core/state/maint/stop_policy.go
+++ b/core/state/maint/stop_policy.go
@@ -40,8 +40,8 @@
 // Factor times that of their peers.
 type RatioTest struct {
 	Factor float64
-	// MinFailures is the number of failed requests below which requests are not
-	// compared.
+	// MinFailures is the number of failed requests on touched instances below which
+	// requests are not compared.
 	MinFailures int64
 }
 
@@ -64,15 +64,15 @@
 // smaller the difference that stops the wave.
 type ZTest struct {
 	Z float64
-	// MinFailures is the number of failed requests below which requests are not
-	// compared. A single failure among the first eight requests of a canary is
+	// MinFailures is the number of failed requests on touched instances below which
+	// requests are not compared. A single failure among the first eight requests of a canary is
 	// many standard errors away from its peers but may be due to chance.
 	MinFailures int64
 }
 
 // StopReason compares the failure rates of requests first, then those of whole
 // instances. If all peers are healthy, a single failed instance stops the wave
-// only while it has touched few instances.
+// only while the wave has touched few instances.
 func (z ZTest) StopReason(touched, peers Tally) string {
 	if touched.Failures >= z.MinFailures && zScore(touched.Failures, touched.Calls, peers.Failures, peers.Calls) > z.Z {
 		return comparison("requests", touched.Failures, touched.Calls, peers.Failures, peers.Calls)
--- a/core/state/maint/wave.go
+++ b/core/state/maint/wave.go
@@ -19,7 +19,8 @@
 	pending map[group]int
 	// byPool is pending summed up by pool.
 	byPool map[model.Pool]int
-	// inProgress counts the instances whose maintenance has started.
+	// inProgress counts the instances whose maintenance has started and whose
+	// item.wave is this wave.
 	inProgress int
 	// touched sums up the instances for which maintained returns true or that are
 	// stuck in the wave's maintenance, peers all others.
@@ -29,11 +30,11 @@
 	// before the declaration and at least CanaryMillis ago. The first one ends the
 	// canary phase.
 	observedCount int
-	// canaryReturnedAt is the MaintainedAt of the touched instance that was counted
+	// touchedMaintainedAt is the MaintainedAt of the touched instance that was counted
 	// last. While that is the canary, it is the time of the canary's return; for a
 	// stuck instance it is the time of an earlier maintenance. It is used only while
 	// observedCount is 0.
-	canaryReturnedAt clock.Millis
+	touchedMaintainedAt clock.Millis
 	// stopReason is the reason why no more maintenance starts; empty while the
 	// wave runs.
 	stopReason string
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -21,7 +21,8 @@
 )
 
 // Advice recommends an action. Target is the name of the limit, pool, process or
-// instance, or of another object, that the action applies to.
+// instance, or of another object, that the action applies to. In the advice on a
+// limit, Target may be only the kind of that object, such as "pool" or "instance".
 type Advice struct {
 	Action Action
 	Target string
