--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -47,7 +47,7 @@
 						}
 						f.carryOut(s)
 					}
-					outMinutes += float64(sample.count)
+					outMinutes += float64(sample.outOfService)
 					excess += float64(sample.excess)
 					f.advance()
 				}
@@ -67,17 +67,17 @@
 	})
 }
 
-// peakSample is the number of instances out of service in one minute, and by how
-// many permille the share of unserved requests exceeds that of a complete fleet.
-type peakSample struct{ count, excess int }
+// peakSample holds the number of instances out of service in one minute, and by how
+// many permille the share of unserved requests exceeds the 20 permille that a
+// complete fleet has in a peak.
+type peakSample struct{ outOfService, excess int }
 
 // setPeakUnserved sets the share of unserved requests in the present minute. Hours
 // with load peaks alternate with quiet hours, shifted by peakShift. In an hour with
 // peaks, about half of the minutes, chosen at random, have a peak that exceeds the
-// capacity of the pool: the
-// share is 20 permille with a complete fleet and 25 permille more for each instance
-// out of service. The planner gets a moving average over about four minutes, because
-// peaks are shorter than a maintenance.
+// capacity of the pool: the share is 20 permille with a complete fleet and 25
+// permille more for each instance out of service. The planner gets a moving average
+// over about four minutes, because peaks are shorter than a maintenance.
 func (f *fakeFleet) setPeakUnserved() peakSample {
 	n := 0
 	for id, i := range f.instances {
@@ -92,7 +92,7 @@
 	for _, c := range f.contracts {
 		f.unservedPermille[c.Customer] = (3*f.unservedPermille[c.Customer] + p) / 4
 	}
-	return peakSample{count: n, excess: max(0, p-20)}
+	return peakSample{outOfService: n, excess: max(0, p-20)}
 }
 
 // BenchmarkPass reports the time and memory of one pass with 12 changes, with and
--- a/core/state/raft/checks_test.go
+++ b/core/state/raft/checks_test.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// checkComplete fails if a new leader does not have an entry that was committed
-// in an earlier term.
+// checkComplete fails if a new leader does not have a committed entry of an earlier
+// term.
 func (sim *simulation) checkComplete(n *Node) {
 	for _, e := range sim.committed {
 		t, ok := n.log.term(e.Index)
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -45,8 +45,9 @@
 	return n.leader != 0 && n.now-n.lastLeaderContact < n.cfg.ElectionTimeout
 }
 
-// campaign requests pre-votes from the voters or, once a quorum has granted
-// them, votes in a new term.
+// campaign makes this member a candidate. If preVote is set, it requests pre-votes
+// from the other voters. Otherwise it starts a new term, votes for itself and requests
+// votes. If this member alone is a quorum, campaign completes the election at once.
 func (n *Node) campaign(preVote bool) {
 	kind, term := MsgPreVote, n.term+1
 	n.role, n.preVote, n.leader = RoleCandidate, preVote, 0
--- a/core/state/raft/log.go
+++ b/core/state/raft/log.go
@@ -28,8 +28,8 @@
 	return t
 }
 
-// term returns the term of the entry at index i. ok is false if the entry was
-// compacted or does not exist.
+// term returns the term of the entry at index i, which may be the base. ok is false
+// if the entry is before the base or does not exist.
 func (l *entryLog) term(i uint64) (t uint64, ok bool) {
 	switch {
 	case i == l.base:
@@ -100,12 +100,12 @@
 	return term > l.lastTerm() || (term == l.lastTerm() && index >= l.last())
 }
 
-// findConflictByTerm returns the largest index at or below index whose entry has
-// at most the given term, and the term of that entry, or 0 if the entry was
-// compacted. If the entry at index of another log has at most the given term, the
-// two logs differ at every index above the returned one up to index, because terms
-// never decrease within a log. One exchange of messages therefore skips all
-// conflicting entries of a term.
+// findConflictByTerm returns the largest index at or below index whose entry has at
+// most the given term, and the term of that entry. If it reaches an index before the
+// base, it returns that index and 0. If the entry at index of another log has at
+// most the given term, the two logs differ at every index above the returned one up
+// to index, because terms never decrease within a log. One exchange of messages
+// therefore skips all conflicting entries of a term.
 func (l *entryLog) findConflictByTerm(index, term uint64) (uint64, uint64) {
 	for i := min(index, l.last()); ; i-- {
 		t, ok := l.term(i)
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -61,8 +61,8 @@
 // MembersPending reports whether the current member list is uncommitted.
 func (n *Node) MembersPending() bool { return n.MembersIndex() > n.commit }
 
-// Peers returns the status of the other members on the leader, and nil on other
-// members.
+// Peers returns the status of all other members if this member is the leader, and
+// nil otherwise.
 func (n *Node) Peers() []PeerStatus {
 	if n.role != RoleLeader {
 		return nil
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -23,15 +23,15 @@
 	preVote bool
 	leader  MemberID
 	votes   map[MemberID]bool
-	// lastLeaderContact is the time of the last message from the leader of the
-	// current term.
+	// lastLeaderContact is the time of the last message from a leader. While this
+	// member follows a leader, it refers to the leader of the current term.
 	lastLeaderContact clock.Millis
 	electionDeadline  clock.Millis
 	nextHeartbeat     clock.Millis
 
 	log entryLog
 	// commit never decreases. applied is the index of the last committed entry
-	// that an Output has contained.
+	// that an Output has contained, or of a later snapshot that was loaded or received.
 	commit  uint64
 	applied uint64
 	// snapshotIndex is the index of the latest snapshot; at most applied.
@@ -185,8 +185,8 @@
 }
 
 // Step handles a message from another member. The error has KindInvalid when the
-// message contradicts committed entries or names a second leader of the term;
-// the message is then dropped.
+// message contradicts committed entries, would leave a gap in the log or names a
+// second leader of the term; its entries are then not appended.
 func (n *Node) Step(m Message, now clock.Millis) error {
 	n.advanceClock(now)
 	if m.To != n.self || m.From == n.self || m.From == 0 {
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -28,7 +28,8 @@
 // progress is the replication state of another member as tracked by the leader.
 type progress struct {
 	// match is the index of the last entry known to be durable on the member. It
-	// decreases only if the member's disk lost entries; see onReject.
+	// decreases only if a rejection suggests that the member's disk lost entries; see
+	// onReject.
 	match uint64
 	// next is the index of the first entry of the next append; above match.
 	next  uint64
@@ -36,7 +37,8 @@
 	// inflight holds the last index of each unacknowledged append in ascending
 	// order, at most maxInflightAppends of them.
 	inflight []uint64
-	// paused is set in stateProbe while an append waits for its reply.
+	// paused is set in stateProbe from an append until the reply to it or to a
+	// heartbeat.
 	paused bool
 	// sendEmpty requests an append even if it is empty, to detect a lost append.
 	sendEmpty bool
@@ -100,8 +102,9 @@
 	p.sendEmpty = false
 }
 
-// sendAppend sends entries starting at p.next and returns the index of the last
-// one sent.
+// sendAppend sends the entries starting at p.next that fit in one message and returns
+// the index of the last one sent. If there is no entry at p.next, it sends an empty
+// append and returns the index before p.next.
 func (n *Node) sendAppend(id MemberID, p *progress) uint64 {
 	es := n.log.sliceMaxBytes(p.next, n.cfg.MaxAppendBytes)
 	n.send(Message{
@@ -119,9 +122,10 @@
 }
 
 // onAppend appends the entries of the leader to the log, in place of entries that
-// differ from them. The reply is part of the same Output as the entries and is
-// therefore sent after they are durable. The error has KindInvalid if an entry
-// would replace a committed one or leave a gap.
+// differ from them, and raises the commit index. It rejects them if the log does not
+// hold the entry before them. The reply is part of the same Output as the entries
+// and is therefore sent after they are durable. The error has KindInvalid if an
+// entry would replace a committed one or leave a gap.
 func (n *Node) onAppend(m Message) error {
 	prev, prevTerm, es := m.Index, m.LogTerm, m.Entries
 	// Committed entries are the same on every leader; skip those in the message.
@@ -192,11 +196,12 @@
 }
 
 // onReject moves next back to the largest index at which the logs may agree.
-// Rejections of appends that have been acknowledged in the meantime are ignored,
-// unless the follower has fewer entries than it had acknowledged: its disk lost
-// a record, and it would never catch up if next were not moved back. A delayed
-// rejection that looks the same only costs a resend, because a lower match
-// cannot raise the commit index.
+// Rejections of earlier probes, and those that arrive during the transfer of a
+// snapshot, are ignored. Rejections of appends that have been acknowledged in the
+// meantime are ignored too, unless the follower has fewer entries than it had
+// acknowledged: its disk lost a record, and the follower would never catch up if
+// match and next were not moved back. A delayed rejection that looks the same only
+// costs a resend, because a lower match cannot raise the commit index.
 func (n *Node) onReject(m Message, p *progress) {
 	lost := m.Index <= p.match && m.Hint < p.match
 	switch {
@@ -214,8 +219,9 @@
 	p.becomeProbe(min(m.Index, hint+1))
 }
 
-// onHeartbeatReply records the acknowledged heartbeat round. It allows another
-// append to the member, because an earlier append or its reply may have been lost.
+// onHeartbeatReply records the acknowledged heartbeat round and confirms the reads
+// that waited for it. It allows another append to the member, because an earlier
+// append or the reply to it may have been lost.
 func (n *Node) onHeartbeatReply(m Message, p *progress) {
 	p.ackedRound = max(p.ackedRound, m.HeartbeatRound)
 	p.paused = false
--- a/core/state/raft/schedule_test.go
+++ b/core/state/raft/schedule_test.go
@@ -15,7 +15,7 @@
 )
 
 // schedules is the number of seeded schedules that TestSchedules runs. The
-// environment variable schedulesEnv can raise it.
+// environment variable named by schedulesEnv can raise the number.
 const (
 	schedules    = 10_000
 	schedulesEnv = "CAMPHORRIDGE_RAFT_SCHEDULES"
@@ -105,8 +105,9 @@
 	}
 }
 
-// readBack repeats a read until the group answers it. A leader that was
-// partitioned before the recovery may step down and drop the first reads.
+// readBack repeats a read until the group answers it, at most 40 times, and reports
+// whether it was answered. A leader that was partitioned before the recovery may step
+// down and drop the first reads.
 func (sim *simulation) readBack() bool {
 	for try := 0; try < 40 && sim.err == nil; try++ {
 		if l := sim.leader(); l != nil {
--- a/core/state/raft/simulation_test.go
+++ b/core/state/raft/simulation_test.go
@@ -50,7 +50,8 @@
 	slowDisk bool
 	// frozen is set while the process is paused and gets no processor time.
 	frozen bool
-	// value, applied and commit are the volatile state of the running node.
+	// value and applied are the volatile state of the running node. commit is the
+	// commit index of the node at the last check.
 	value   int64
 	applied uint64
 	commit  uint64
--- a/core/state/raft/snapshot.go
+++ b/core/state/raft/snapshot.go
@@ -53,7 +53,8 @@
 }
 
 // ProvideSnapshot provides the snapshot data that an Output requested in
-// NeedSnapshot. It is ignored if the member no longer needs a snapshot.
+// NeedSnapshot. The data is ignored if the member no longer needs a snapshot, if data
+// was provided already, or if the log no longer has the entries after the snapshot.
 func (n *Node) ProvideSnapshot(to MemberID, meta SnapshotMeta, data []byte) {
 	p := n.peers[to]
 	if n.role != RoleLeader || p == nil || p.state != stateSnapshot || p.outgoing.data != nil || meta.Index < n.log.base {
@@ -76,8 +77,9 @@
 	p.outgoing.lastAttempt = 0
 }
 
-// onSnapshot collects the chunks of a snapshot and installs it when the last
-// one has been received.
+// onSnapshot collects the chunks of a snapshot and installs the snapshot when the
+// last chunk has been received. A snapshot that contains only committed entries is
+// not needed: onSnapshot acknowledges the commit index instead.
 func (n *Node) onSnapshot(m Message) {
 	meta := m.Snapshot
 	if meta.Index <= n.commit {
@@ -102,8 +104,9 @@
 }
 
 // finishSnapshot replaces the state and the log with a completely received
-// snapshot. If the log holds the last entry of the snapshot, only the commit
-// index is raised.
+// snapshot. If the log holds the last entry of the snapshot, the state and the log
+// stay and only the commit index is raised. In both cases the snapshot is
+// acknowledged.
 func (n *Node) finishSnapshot(from MemberID, meta SnapshotMeta, data []byte) {
 	n.incoming = incomingSnapshot{}
 	if t, ok := n.log.term(meta.Index); ok && t == meta.Term {
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -53,8 +53,9 @@
 	Term uint64
 	// Vote is the candidate voted for in Term; 0 means none.
 	Vote MemberID
-	// Commit is the index of the last entry known to be committed. It never
-	// decreases and need not be made durable with each change.
+	// Commit is an index up to which all entries are known to be committed; later
+	// ones may be committed too. It never decreases and need not be made durable with
+	// each change.
 	Commit uint64
 }
 
@@ -93,15 +94,17 @@
 	// grants it, Term is the next term, in which the candidate would be elected.
 	Term uint64
 	// Index and LogTerm identify the entry before the entries of an append, or
-	// the last log entry of a candidate.
+	// the last log entry of a candidate. In a reply to an append, Index is the last
+	// acknowledged entry or, in a rejection, the Index of the append. In a reply to
+	// a snapshot chunk, Index is that of the snapshot.
 	Index   uint64
 	LogTerm uint64
 	// Commit is the commit index of the leader. In a heartbeat it is at most the
 	// index of the last entry that the receiver is known to hold.
 	Commit  uint64
 	Entries []Entry
-	// Reject is set in a reply that refuses a vote, the entries of an append or a
-	// message of an earlier term.
+	// Reject is set in a reply that refuses a vote, a pre-vote, the entries of an
+	// append or a message of an earlier term.
 	Reject bool
 	// Hint is, in the rejection of an append, the largest index at which the
 	// follower's log may agree with the leader's, and LogTerm is the term of
@@ -186,8 +189,8 @@
 	Install     *SnapshotMeta
 	InstallData []byte
 	Messages    []Message
-	// Committed lists the newly committed entries. They continue those of the
-	// previous output without a gap.
+	// Committed lists the newly committed entries. They continue, without a gap, those
+	// of the previous output or the last installed snapshot.
 	Committed []Entry
 	// Reads lists the reads that may be answered once the entries up to their
 	// Index have been applied.
--- a/core/state/store/bench_test.go
+++ b/core/state/store/bench_test.go
@@ -100,7 +100,8 @@
 }
 
 // BenchmarkOpen measures a restart: Open, decoding the snapshot and replaying the
-// entries after it. The snapshot is taken 100 changes before the end of the log.
+// entries after it. The snapshot, if there is one, is taken 100 changes before the
+// end of the log.
 func BenchmarkOpen(b *testing.B) {
 	var wire codec.Codec
 	for _, n := range []int{500, 50_000} {
--- a/core/state/store/disk_test.go
+++ b/core/state/store/disk_test.go
@@ -42,8 +42,8 @@
 	return &memDisk{names: map[string]*inode{}, durable: map[string]*inode{}}
 }
 
-// nextFailure counts an operation that modifies the disk and returns its injected
-// error, if any.
+// nextFailure counts an operation that may modify the disk and returns the error that
+// is injected into the operation, if any.
 func (d *memDisk) nextFailure() error {
 	if d.countdown == 0 {
 		return nil
--- a/core/state/store/errors.go
+++ b/core/state/store/errors.go
@@ -13,8 +13,8 @@
 const (
 	// KindIO means that a file system operation failed.
 	KindIO Kind = iota
-	// KindDiskFull means that no disk space is left; the call may be retried
-	// later.
+	// KindDiskFull means that no disk space or quota is left; the call may be
+	// retried later.
 	KindDiskFull
 	// KindLocked means that another process uses the folder.
 	KindLocked
--- a/core/state/store/filesystem.go
+++ b/core/state/store/filesystem.go
@@ -40,7 +40,8 @@
 // OSFileSystem is the FileSystem of the operating system.
 type OSFileSystem struct{}
 
-// MakeDir creates a folder, if it is missing, and makes its name durable.
+// MakeDir creates a folder, if it is missing, and makes its name durable. Missing
+// parents are created too, but their names are not made durable.
 func (OSFileSystem) MakeDir(dir string) error {
 	if _, err := os.Stat(dir); err == nil {
 		return nil
--- a/core/state/store/meta.go
+++ b/core/state/store/meta.go
@@ -112,7 +112,7 @@
 // writeMeta writes the term, the vote and the commit index to the meta file. The
 // commit index is limited to lastDurable, the index up to which the log is durable.
 // A stored commit index beyond the end of the log therefore means that entries were
-// lost.
+// lost. The commit index in memory is not limited.
 func (s *Store[C, F]) writeMeta(hard raft.HardState, lastDurable uint64) error {
 	stored := hard
 	stored.Commit = min(hard.Commit, lastDurable)
--- a/core/state/store/recover.go
+++ b/core/state/store/recover.go
@@ -50,7 +50,7 @@
 
 // recover loads the meta file, the latest snapshot and the log. It removes
 // incomplete and replaced files that a crash left, and generates a member ID if
-// the folder is empty.
+// the folder contains no data.
 func (s *Store[C, F]) recover(self raft.Member) error {
 	found, err := s.listDataFiles()
 	if err != nil {
@@ -147,9 +147,9 @@
 	return s.writeMeta(raft.HardState{}, 0)
 }
 
-// loadSnapshot reads the description of the latest snapshot and removes older
-// snapshots left by a crash. The content of the latest one is durable
-// because the file is renamed to its name only after a sync.
+// loadSnapshot verifies the latest snapshot, keeps its description and removes older
+// snapshots left by a crash. The content of the latest one is durable because the
+// file is renamed to its name only after a sync.
 func (s *Store[C, F]) loadSnapshot(snaps []uint64) error {
 	if len(snaps) == 0 {
 		return nil
@@ -165,7 +165,7 @@
 
 // loadLog reads the segments that start at the given indexes and returns their
 // entries. The segments must be contiguous, and the first must start at most one
-// entry after the snapshot.
+// entry after the snapshot. The last segment is removed if it has no complete record.
 func (s *Store[C, F]) loadLog(firstIndexes []uint64) ([]raft.Entry, error) {
 	var log []raft.Entry
 	next := s.snapshot.Index + 1
@@ -191,7 +191,8 @@
 
 // loadSegment reads one segment; final is true for the last one. In the last
 // segment, a damaged record without a valid record after it comes from a write
-// that was interrupted before it was acknowledged, and is ignored.
+// that was interrupted before it was acknowledged, and is ignored. loadSegment leaves
+// the last undamaged record in recordBuf; see rewriteLastRecord.
 func (s *Store[C, F]) loadSegment(first uint64, final bool) (segment, []raft.Entry, error) {
 	seg := segment{first: first, last: first - 1}
 	b, err := s.files.ReadFile(s.path(seg.name()))
@@ -223,12 +224,14 @@
 	return seg, log, nil
 }
 
-// reconcile reconciles the log with the snapshot and returns the entries after
-// the snapshot. The log is removed if it ends before the snapshot or if its
-// entry at the snapshot's index has another term, because an interrupted
-// InstallSnapshot leaves such a log. A log that starts directly after the snapshot
-// is kept: SaveSnapshot removed the segments before it. InstallSnapshot cannot
-// leave such a log, because it removes the first segment last.
+// reconcile reconciles the log with the snapshot and returns the entries after the
+// snapshot. It removes the segments that the snapshot covers and rewrites the last
+// record. It fails if the terms of the entries decrease. The log is removed if it
+// ends before the snapshot or if its entry at the snapshot's index has another term,
+// because an interrupted InstallSnapshot leaves such a log. A log that starts
+// directly after the snapshot is kept: SaveSnapshot removed the segments before it.
+// InstallSnapshot cannot leave such a log, because it removes the first segment
+// last.
 func (s *Store[C, F]) reconcile(log []raft.Entry) ([]raft.Entry, error) {
 	if len(log) > 0 && s.snapshot.Index > 0 {
 		covered := int(s.snapshot.Index + 1 - log[0].Index)
--- a/core/state/store/segment.go
+++ b/core/state/store/segment.go
@@ -139,8 +139,8 @@
 }
 
 // dropSegmentsFrom drops the segments from position i to the end from the log.
-// Their files are removed from the last to the first, so that the segments on
-// disk never have a gap.
+// removeDropped then removes their files, from the last to the first, so that the
+// segments on disk never have a gap.
 func (s *Store[C, F]) dropSegmentsFrom(i int) {
 	for n := len(s.segments) - 1; n >= i; n-- {
 		s.closeActive()
--- a/core/state/store/snapshot.go
+++ b/core/state/store/snapshot.go
@@ -152,9 +152,9 @@
 	return s.removeOldSnapshots()
 }
 
-// removeOldSnapshots removes all snapshots except the latest one. A file that
-// cannot be removed only uses space, because Open loads the latest snapshot and
-// removes the others.
+// removeOldSnapshots removes all snapshots before the latest one. After a failed
+// removal it continues with the other files and then returns the error. A file that is
+// left only uses space, because Open loads the latest snapshot and removes the others.
 func (s *Store[C, F]) removeOldSnapshots() error {
 	names, err := s.files.List(s.dir)
 	if err != nil {
--- a/core/state/store/store.go
+++ b/core/state/store/store.go
@@ -38,8 +38,8 @@
 	id raft.MemberID
 	// hard is the content of the meta file.
 	hard raft.HardState
-	// commit is the largest commit index passed to Save; the one in the meta
-	// file may be smaller.
+	// commit is the largest commit index that is known from Open, Save or
+	// InstallSnapshot; the one in the meta file may be smaller.
 	commit   uint64
 	snapshot raft.SnapshotMeta
 	// segments lists the segments of the log in ascending order. Records are
@@ -113,7 +113,8 @@
 }
 
 // checkOrder returns an error with KindOutOfOrder if the arguments of Save would lower
-// the term, replace committed entries or leave a gap in the log.
+// the term, replace entries that the snapshot or the meta file shows as committed, or
+// leave a gap in the log.
 func (s *Store[C, F]) checkOrder(hard *raft.HardState, entries []raft.Entry) error {
 	if hard != nil && hard.Term < s.hard.Term {
 		return outOfOrderError("save", "term %d is below the stored term %d", hard.Term, s.hard.Term)
--- a/core/state/store/store_test.go
+++ b/core/state/store/store_test.go
@@ -131,7 +131,8 @@
 }
 
 // check compares the recovered state with the expected states before and after
-// the last call. These are the same if the call succeeded.
+// the last call, which are the same if the call succeeded, and then expects the
+// recovered state.
 func (r *run) check(t *rapid.T, got raft.StoredState, after step) {
 	same := func(a, b []raft.Entry) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 	n := len(got.Entries)
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -67,8 +67,8 @@
 }
 
 // releaseAdvice returns the advice for a process that has not confirmed a
-// release: to wait for its requests in flight or, if the process has stopped
-// reporting, to restart it.
+// release: to wait for its requests in flight or, if the process has never reported
+// or has stopped reporting, to restart it.
 func releaseAdvice(state CurrentState, p ProcessState) Advice {
 	if p.LastReport == 0 || state.Now-p.LastReport > SilentAfter {
 		return Advice{ActionRestartProcess, string(p.Name)}
--- a/core/state/trail/explain.go
+++ b/core/state/trail/explain.go
@@ -150,8 +150,9 @@
 	Advice   Advice
 }
 
-// collect adds the matching events, and the limits that were reached in them, to
-// the explanation.
+// collect adds the newest MaxEvents of the matching events to the explanation, and
+// the limits that were reached in any of the matching events. It sets Found if an
+// event matches.
 func (x *Explanation) collect(events []model.Event, match func(model.Event) bool) {
 	type key struct {
 		limit string
--- a/core/state/trail/measure.go
+++ b/core/state/trail/measure.go
@@ -12,7 +12,8 @@
 // until contract changes take effect, the moves and maintenance of instances, and
 // the buffer of idle instances.
 type Measures struct {
-	// Rollouts lists the rollouts of contract changes in the order of versions.
+	// Rollouts lists the rollouts of contract changes in the order of the events that
+	// report the changes.
 	Rollouts []Rollout
 	// MedianRollout and LongestRollout are the median and the longest rollout
 	// time of the changes that are in effect on all entry processes.
@@ -54,8 +55,8 @@
 }
 
 // Measure computes the Measures of the fleet. The events must be in causal order,
-// as returned by Merge. Changes whose events were dropped from the log are not
-// included.
+// as returned by Merge. Changes, moves and finished maintenances whose events were
+// dropped from the log are not included.
 func Measure(state CurrentState, events []model.Event) Measures {
 	var m Measures
 	for i, e := range events {
@@ -78,8 +79,9 @@
 	return m
 }
 
-// measureRollout finds, in the events after a contract change, those with which the
-// entry processes report that they have applied it.
+// measureRollout measures the rollout of a contract change. It finds, in the events
+// after the change, those with which the entry processes report that they have applied
+// the change or a later one.
 func measureRollout(state CurrentState, change model.Event, after []model.Event) Rollout {
 	r := Rollout{Version: change.Version}
 	missing := map[model.Process]bool{}
@@ -138,8 +140,9 @@
 	return w
 }
 
-// idleInstances returns the number of serving instances beyond the number that
-// contracts promise in their pools. All instances of a spare pool count as idle,
+// idleInstances returns the sum over all pools of the serving instances beyond the
+// number that the contracts promise in the pool. Lost instances do not count as
+// serving. In a pool that is only a spare pool, all serving instances count as idle,
 // because contracts promise no instances in it.
 func idleInstances(state CurrentState) int {
 	promised := map[model.Pool]int{}
--- a/core/state/trail/subject.go
+++ b/core/state/trail/subject.go
@@ -7,9 +7,9 @@
 	"camphorridge/core/state/model"
 )
 
-// relatedEventsSpan is the time before and after a request in which the events of
-// its instances are included in the explanation. It equals the default timeout of
-// a request.
+// relatedEventsSpan is the time before the first and after the last event of a
+// request in which the events of the request's instances are included in the
+// explanation. It equals the default timeout of a request.
 const relatedEventsSpan = 5 * clock.Second
 
 // ExplainCustomer explains the state of a customer. The events must be in the
@@ -130,8 +130,9 @@
 }
 
 // disruptionObstacle returns the obstacle of a customer's limit on unavailable
-// instances and reports whether the limit is reached. Instances that are being
-// released or are in maintenance count as unavailable.
+// instances and reports whether the limit is reached. Instances of the promised
+// pools that are being released or are in maintenance count as unavailable; lost
+// instances and those of the spare pool are not counted.
 func disruptionObstacle(state CurrentState, c model.Contract) (obstacle Obstacle, reached bool) {
 	unavailable := 0
 	for _, i := range state.Instances {
