--- a/core/state/maint/stop_policy.go
+++ b/core/state/maint/stop_policy.go
@@ -65,8 +65,8 @@
 type ZTest struct {
 	Z float64
 	// MinFailures is the number of failed requests on touched instances below which
-	// requests are not compared. A single failure among the first eight requests of a canary is
-	// many standard errors away from its peers but may be due to chance.
+	// requests are not compared. A single failure among the first eight requests of
+	// a canary is many standard errors away from its peers but may be due to chance.
 	MinFailures int64
 }
 
