--- a/core/state/maint/bench_test.go
+++ b/core/state/maint/bench_test.go
@@ -47,7 +47,7 @@
 						}
 						f.carryOut(s)
 					}
-					outMinutes += float64(sample.count)
+					outMinutes += float64(sample.outOfService)
 					excess += float64(sample.excess)
 					f.advance()
 				}
@@ -67,16 +67,17 @@
 	})
 }
 
-// peakSample is the number of instances out of service in one minute, and by how
-// many permille the share of unserved requests exceeds that of a complete fleet.
-type peakSample struct{ count, excess int }
+// peakSample holds the number of instances out of service in one minute, and by how
+// many permille the share of unserved requests exceeds the 20 permille that a
+// complete fleet has in a peak.
+type peakSample struct{ outOfService, excess int }
 
 // setPeakUnserved sets the share of unserved requests in the present minute. Hours
 // with load peaks alternate with quiet hours, shifted by peakShift. In an hour with
-// peaks, half of the minutes have a peak that exceeds the capacity of the pool: the
-// share is 20 permille with a complete fleet and 25 permille more for each instance
-// out of service. The planner gets a moving average over about four minutes, because
-// peaks are shorter than a maintenance.
+// peaks, about half of the minutes, chosen at random, have a peak that exceeds the
+// capacity of the pool: the share is 20 permille with a complete fleet and 25
+// permille more for each instance out of service. The planner gets a moving average
+// over about four minutes, because peaks are shorter than a maintenance.
 func (f *fakeFleet) setPeakUnserved() peakSample {
 	n := 0
 	for id, i := range f.instances {
@@ -91,7 +92,7 @@
 	for _, c := range f.contracts {
 		f.unservedPermille[c.Customer] = (3*f.unservedPermille[c.Customer] + p) / 4
 	}
-	return peakSample{count: n, excess: max(0, p-20)}
+	return peakSample{outOfService: n, excess: max(0, p-20)}
 }
 
 // BenchmarkPass reports the time and memory of one pass with 12 changes, with and
@@ -112,8 +113,8 @@
 	}
 }
 
-// benchPasses reports as board-KiB the heap memory of a planner with the whole
-// fleet loaded, in KiB.
+// benchPasses measures passes of a planner for the fleet. It also reports as
+// board-KiB the heap memory of the planner after the first pass, in KiB.
 func benchPasses(b *testing.B, f *fakeFleet, scan bool) {
 	set := Defaults()
 	set.FullScan = scan
@@ -146,7 +147,7 @@
 			if lost {
 				down = ids[k*11%len(ids)]
 			}
-			f.lose(down, lost)
+			f.setLost(down, lost)
 			planner.SetObservation(down, f.observations[down])
 		}
 		f.outages = f.outages[:0]
@@ -187,8 +188,8 @@
 }
 
 // runWave runs a wave for four hours. The request counts of a returned instance
-// start at 0 and grow by 8 a minute, of which one in 400 fails, as on its peers. If
-// bad is set, one in eight fails in addition.
+// start at 0 and grow by 8 a minute for 25 minutes. On average, one request in 400
+// fails, as on its peers; if bad is set, one in eight fails in addition.
 func runWave[S StopPolicy](policy S, seed uint64, bad bool) *fakeFleet {
 	f := newFakeFleet(seed, 50, 3, 5, 5, model.DomainRack, 4)
 	f.declare(8 * clock.Hour)
--- a/core/state/trail/advice.go
+++ b/core/state/trail/advice.go
@@ -21,7 +21,8 @@
 )
 
 // Advice recommends an action. Target is the name of the limit, pool, process or
-// instance, or of another object, that the action applies to.
+// instance, or of another object, that the action applies to. In the advice on a
+// limit, Target may be only the kind of that object, such as "pool" or "instance".
 type Advice struct {
 	Action Action
 	Target string
@@ -66,8 +67,8 @@
 }
 
 // releaseAdvice returns the advice for a process that has not confirmed a
-// release: to wait for its requests in flight or, if the process has stopped
-// reporting, to restart it.
+// release: to wait for its requests in flight or, if the process has never reported
+// or has stopped reporting, to restart it.
 func releaseAdvice(state CurrentState, p ProcessState) Advice {
 	if p.LastReport == 0 || state.Now-p.LastReport > SilentAfter {
 		return Advice{ActionRestartProcess, string(p.Name)}
