Say what Apply and State.Time of package jobs cover

State.Time was called the time of an operation, but Apply sets it without operations too. Apply did not say that it also removes jobs whose retention has ended. PhaseWaiting read as if it also covered done tasks.

--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -13,7 +13,7 @@
 
 // State is the replicated state of submitted work.
 type State struct {
-	// Time is the latest time of an operation; it never decreases.
+	// Time is the latest time passed to Apply; it never decreases.
 	Time   clock.Millis
 	Config Config
 	// Jobs holds the accepted jobs, ended ones until their retention ends.
@@ -32,10 +32,11 @@
 	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}}
 }
 
-// Apply applies a batch of operations made at time now. An operation that does
-// not match the state has no effect, for example the submission of a known ID,
-// the end of a run that is not the task's latest, or a configuration that is
-// not newer than the current one.
+// Apply applies a batch of operations made at time now, and then removes the
+// jobs whose retention has ended. An operation that does not match the state
+// has no effect, for example the submission of a known ID, the end of a run
+// that is not the task's latest, or a configuration that is not newer than the
+// current one.
 func (s *State) Apply(ops []Op, now clock.Millis) {
 	s.Time = max(s.Time, now)
 	for i := range ops {
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -203,7 +203,7 @@
 
 // The phases of a task.
 const (
-	// PhaseWaiting means that the task is assigned to no worker.
+	// PhaseWaiting means that the task is not done and is assigned to no worker.
 	PhaseWaiting Phase = iota
 	// PhaseAssigned means that a start order may have reached the task's
 	// worker.
