Match the comments of package plan to its code

The test message called a number of violations refused moves. FirstByName and Spread.Compare left out what they compare first or last; donatable left out when it returns 0; HighSince and LowSince shared one '0 if it is not'; checkStable said 'no more' where it checks 'exactly as many'. 'First instance of a rack' is the first movable one. byName compares instance IDs and is byInstanceID now.

--- a/core/state/plan/assign.go
+++ b/core/state/plan/assign.go
@@ -38,7 +38,7 @@
 	return pools
 }
 
-// fill moves instances to a pool until it lacks none or no instance may be moved.
+// fill moves instances to a pool until it lacks none or no more may be moved to it.
 func (d *draft[P]) fill(p Pool, reason string) {
 	for d.counts.surplus(p) < 0 {
 		source, ok := d.bestSource(p)
@@ -49,7 +49,7 @@
 	}
 }
 
-// move moves the first instance of a rack to another pool.
+// move moves the first movable instance of a rack to another pool.
 func (d *draft[P]) move(source rackKey, to Pool, reason string) {
 	i := d.counts.movable[source][0]
 	d.counts.removeMovable(source, i)
@@ -68,16 +68,17 @@
 	}
 }
 
-// bestSource returns the rack whose first instance the policy prefers for a pool,
-// among the other pools with a surplus and the spare pools that may supply it.
+// bestSource returns the rack whose first movable instance the policy prefers for a
+// pool, among the other pools with a surplus and the spare pools that may supply
+// that pool.
 func (d *draft[P]) bestSource(to Pool) (rackKey, bool) {
 	return d.bestRack(to, func(p Pool) bool {
 		return p != to && (d.counts.surplus(p) > 0 || d.mayTakeSpare(p, to))
 	}, func(rackKey) bool { return true })
 }
 
-// bestRack returns the rack whose first instance the policy prefers for a pool,
-// among the allowed racks of the allowed pools.
+// bestRack returns the rack whose first movable instance the policy prefers for a
+// pool, among the allowed racks of the allowed pools.
 func (d *draft[P]) bestRack(to Pool, poolAllowed func(Pool) bool, rackAllowed func(rackKey) bool) (best rackKey, found bool) {
 	var bestCandidate Candidate
 	for _, p := range slices.Sorted(maps.Keys(d.counts.rackOrder)) {
--- a/core/state/plan/assign_test.go
+++ b/core/state/plan/assign_test.go
@@ -23,7 +23,7 @@
 			a := AssignFromIndex(Balance{}, settings, h.index, nil)
 			assert.DeepEqual(t, a, Assign(Balance{}, settings, h.input()))
 			if n := h.startMoves(a.Moves); n > 0 {
-				t.Fatalf("%d moves were refused: %v", n, a.Moves)
+				t.Fatalf("%d violations when the moves were started: %v", n, a.Moves)
 			}
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
@@ -48,8 +48,9 @@
 	})
 }
 
-// checkStable checks that in a fleet without losses no more instances are missing
-// than the fleet is too small by, and that it needs no further moves.
+// checkStable checks that in a fleet without losses exactly as many required
+// instances are missing as the fleet is too small by, and that it needs no further
+// moves.
 func checkStable(t *rapid.T, h *fleetHarness, settings Settings) {
 	a := AssignFromIndex(Spread{}, settings, h.index, nil)
 	required := 0
--- a/core/state/plan/bench_test.go
+++ b/core/state/plan/bench_test.go
@@ -93,9 +93,9 @@
 }
 
 // BenchmarkSurge simulates ten minutes of services that peak in turn, for each
-// chooser and the weights of both operators. It reports the waiting time, the
-// refused requests, the lent instances and the moves as means over 5 seeds, and
-// the sum of the violations.
+// chooser and the weights of both operators. It reports the waiting time per
+// request, the permille of refused requests, the lent instance-seconds and the
+// moves as means over 5 seeds, and the sum of the violations.
 func BenchmarkSurge(b *testing.B) {
 	for _, operator := range []struct {
 		name  string
--- a/core/state/plan/cost.go
+++ b/core/state/plan/cost.go
@@ -87,8 +87,9 @@
 	return waitSeconds*s.w.WaitCost + refused*s.w.RefuseCost
 }
 
-// donatable returns how many instances a pool can give up to others so that its
-// demand stays within LowPercent of its remaining capacity.
+// donatable returns how many more promised instances a pool can give up to others
+// so that its demand stays within LowPercent of its remaining capacity; at least
+// one instance remains. It returns 0 if the demand is unknown or exceeds the slots.
 func (s *surge) donatable(p Pool) int {
 	h := s.holdings[p]
 	d, ok := s.demand[p]
--- a/core/state/plan/harness_test.go
+++ b/core/state/plan/harness_test.go
@@ -51,7 +51,8 @@
 	return []model.Contract{c}
 }
 
-// apply changes an instance through the state machine.
+// apply changes an instance through the state machine and updates the index with
+// the result.
 func (h *fleetHarness) apply(i model.Instance) model.ResultKind {
 	h.version++
 	r := h.state.Apply(h.version, model.Change{
--- a/core/state/plan/policy.go
+++ b/core/state/plan/policy.go
@@ -30,13 +30,14 @@
 	Exchange() bool
 }
 
-// FirstByName is the baseline: it takes the first instance in the order of IDs,
-// wherever it is.
+// FirstByName is the baseline: it takes the first instance in the order of IDs, in
+// whatever zone and rack it is. Like the other policies it prefers surplus to spare
+// instances.
 type FirstByName struct{}
 
 // Compare prefers surplus to spare instances, then the smaller ID.
 func (FirstByName) Compare(a, b Candidate) int {
-	return cmp.Or(bySpare(a, b), byName(a, b))
+	return cmp.Or(bySpare(a, b), byInstanceID(a, b))
 }
 
 // Exchange returns false.
@@ -47,8 +48,9 @@
 // moves an instance only to a pool that lacks one.
 type Spread struct{}
 
-// Compare prefers surplus to spare instances, then the zone with fewer instances,
-// then the rack with fewer instances.
+// Compare prefers surplus to spare instances, then the zone and then the rack with
+// fewer instances, each first of the group and then of the pool, and last the
+// smaller ID.
 func (Spread) Compare(a, b Candidate) int {
 	return cmp.Or(
 		bySpare(a, b),
@@ -56,7 +58,7 @@
 		cmp.Compare(a.PoolZone, b.PoolZone),
 		cmp.Compare(a.GroupRack, b.GroupRack),
 		cmp.Compare(a.PoolRack, b.PoolRack),
-		byName(a, b),
+		byInstanceID(a, b),
 	)
 }
 
@@ -81,5 +83,5 @@
 	return 1
 }
 
-// byName orders by instance ID.
-func byName(a, b Candidate) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) }
+// byInstanceID orders by instance ID.
+func byInstanceID(a, b Candidate) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) }
--- a/core/state/plan/surge.go
+++ b/core/state/plan/surge.go
@@ -58,8 +58,9 @@
 	// can be queued; 0 means that there is no limit.
 	Waiting    float64
 	QueueLimit float64
-	// HighSince is the time since which demand has exceeded the pool's slots, and
-	// LowSince the time since which it has been below LowPercent; 0 if it is not.
+	// HighSince is the time since which demand has exceeded the pool's slots; 0 if
+	// it does not. LowSince is the time since which demand has been below
+	// LowPercent of the promised slots; 0 if it is not.
 	HighSince clock.Millis
 	LowSince  clock.Millis
 }
@@ -122,7 +123,8 @@
 	Pool   Pool
 	Action Action
 	// Costs is set only if the pool's demand exceeds its slots.
-	Costs  Costs
+	Costs Costs
+	// Reason is empty for ActionNone.
 	Reason string
 }
 
