Match the comments of package lend to its code

EachPool visits every pool with a demand, also without a request. SlotsToLend may be negative, and the caller applies the limit. LoanRequest.Pool is one of several pools in a renewal. The test's moves counts steps and is movedSteps now.

--- a/core/state/lend/borrow.go
+++ b/core/state/lend/borrow.go
@@ -113,7 +113,9 @@
 }
 
 // Release frees a slot that Acquire reserved. failed says that the upstream failed
-// the request, and unreached that no connection to it could be opened.
+// the request, and unreached that no connection to the upstream could be opened.
+// The loan ends if unreached is set or maxFailures requests in a row have failed,
+// and its lender is then not asked for slots for faultyBackoff.
 func (l *Ledger[P]) Release(now clock.Millis, h *HeldLoan, failed, unreached bool) {
 	h.Running--
 	h.lastUsed = now
@@ -130,7 +132,8 @@
 	}
 }
 
-// BorrowedSlots returns the number of usable slots of the loans held in a pool.
+// BorrowedSlots returns the number of slots, free or in use, of the usable loans
+// held in a pool.
 func (l *Ledger[P]) BorrowedSlots(now clock.Millis, p model.Pool) int {
 	n := 0
 	if s := l.pools[p]; s != nil {
@@ -150,7 +153,8 @@
 	}
 }
 
-// EachPool calls f for each pool in which this process has requested loans.
+// EachPool calls f for each pool for which DueMessages was passed a demand, even if
+// no loan was requested.
 func (l *Ledger[P]) EachPool(f func(model.Pool)) {
 	for p := range l.pools {
 		f(p)
--- a/core/state/lend/messages.go
+++ b/core/state/lend/messages.go
@@ -8,9 +8,10 @@
 )
 
 // DueMessages appends to buf the messages that are due: recalls, returns, renewals,
-// and for each pool in demands at most one request for new loans. demands lists
-// the pools with waiting requests. At most one loan request or return is in flight
-// to a process.
+// and for each pool in demands at most one request for new loans. demands lists the
+// pools with waiting requests. It also ends the held loans that are not needed or
+// not usable any more. At most one loan request or return is in flight to a
+// process.
 func (l *Ledger[P]) DueMessages(now clock.Millis, demands []LoanDemand, buf []Message) []Message {
 	if !l.Enabled() {
 		return buf
@@ -104,7 +105,7 @@
 }
 
 // appendRenewals appends renewals of the loans that are usable for at most half a
-// lease more, one message for each lender.
+// lease more, one message for each lender with loans of all pools.
 func (l *Ledger[P]) appendRenewals(now clock.Millis, buf []Message) []Message {
 	indexByLender := map[model.Process]int{}
 	for _, h := range l.held {
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -44,7 +44,8 @@
 	// SlotsToRequest returns the number of slots to request. The caller subtracts
 	// the slots whose request is still in flight.
 	SlotsToRequest(p Pressure) int
-	// SlotsToLend returns the number of slots to lend, at most Lendable-Lent.
+	// SlotsToLend returns the number of slots to lend; 0 or less means none. The
+	// caller limits it, among others, to Lendable-Lent.
 	SlotsToLend(s UpstreamSlots) int
 	// KeepIdle reports whether to keep a held loan without requests that has been
 	// idle for the given time.
@@ -83,7 +84,8 @@
 
 // SlotsToRequest returns one slot for each waiting request that is not expected to
 // start on an own or borrowed slot within half a run time or maxWait, whichever is
-// shorter.
+// shorter, but at most maxSlotsPerRequest. A process that has slots requests none
+// until requests have been waiting for minPressureTime.
 func (Idle) SlotsToRequest(p Pressure) int {
 	if p.Capacity > 0 && p.Duration < minPressureTime {
 		return 0
@@ -97,7 +99,8 @@
 }
 
 // SlotsToLend returns the number of lendable slots that were idle in the last
-// seconds and are not lent, or 0 while own requests wait.
+// seconds and are not lent, or 0 while own requests wait. The number is negative if
+// more slots are lent than are lendable or were idle.
 func (Idle) SlotsToLend(s UpstreamSlots) int {
 	if s.Waiting > 0 {
 		return 0
--- a/core/state/lend/simulation_test.go
+++ b/core/state/lend/simulation_test.go
@@ -351,7 +351,7 @@
 // it has slots, and against a request on an instance that has left its pool, while
 // messages are lost or late and processes restart.
 func TestLoansKeepSlotsAndPools(t *testing.T) {
-	var used, moves int64
+	var used, movedSteps int64
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
 		for _, p := range s.procs {
@@ -376,7 +376,7 @@
 			s.check()
 			for _, moved := range s.moved {
 				if moved {
-					moves++
+					movedSteps++
 				}
 			}
 		}
@@ -384,8 +384,8 @@
 			used += p.ledger.Counts.Used
 		}
 	})
-	t.Logf("%d requests ran on loans; %d times a step found an instance out of its pool", used, moves)
-	if used == 0 || moves == 0 {
+	t.Logf("%d requests ran on loans; %d times a step found an instance out of its pool", used, movedSteps)
+	if used == 0 || movedSteps == 0 {
 		t.Fatal("no request ran on a loan, or no instance left its pool, so that nothing was checked")
 	}
 }
--- a/core/state/lend/types.go
+++ b/core/state/lend/types.go
@@ -52,7 +52,9 @@
 	Incarnation uint64
 	// Number numbers the requests of one run of the borrower from 1.
 	Number uint64
-	Pool   model.Pool
+	// Pool is the pool of the new loans. A request for renewals names the pool of
+	// one of the loans in Renew; the others may be of other pools.
+	Pool model.Pool
 	// Slots is the number of slots requested; 0 requests renewals only.
 	Slots int
 	Renew []ID
