Match the comments of package place to its code

Pass, ReportUsage and preemptFor did more than their comments said. blocked is also set after some tasks of the pass started. The estimates of accelerators are maxima, not means or quantiles. A lease counts from the pass and not from the heartbeat. nthLargest(n) left out n values first and is largestWithoutTop now.

--- a/core/state/place/bench_test.go
+++ b/core/state/place/bench_test.go
@@ -14,8 +14,9 @@
 // of five customers run on 50 workers: the time until all are done, processors
 // reserved but not used, use beyond a worker's size, disruptions, starts and
 // violations, and the longest wait of an urgent task. The violations are summed
-// over 3 seeds, the wait is the maximum, the others are means. The customers
-// declare 40, 80, 100, 200 and 300 percent of what their tasks use.
+// over 3 seeds, the wait is the maximum, the others are means. A violation is a
+// task that was rejected or that ran on two workers at once. The customers declare
+// 40, 80, 100, 200 and 300 percent of what their tasks use.
 func BenchmarkPlace(b *testing.B) {
 	for _, operator := range []struct {
 		name       string
--- a/core/state/place/customer.go
+++ b/core/state/place/customer.go
@@ -17,9 +17,9 @@
 	// waiting may also hold tasks that no longer wait, such as cancelled ones;
 	// firstWaiting removes them when they reach the top.
 	waiting heap.Heap[queuedTask]
-	// blocked is set after a pass could start none of the customer's tasks, until
-	// something changes that could let one start. waitReason is what prevents
-	// the start of the first waiting task.
+	// blocked is set when none of the customer's first Lookahead waiting tasks can
+	// start, until something changes that could let one start. waitReason is what
+	// prevents the start of the first waiting task.
 	blocked    bool
 	waitReason WaitReason
 	// disrupted counts the customer's tasks that are disrupted now.
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -8,8 +8,10 @@
 	"camphorridge/core/state/model"
 )
 
-// Pass returns the actions to take now. It renews leases first, then relieves
-// overcommitted workers, then starts waiting tasks, urgent ones first.
+// Pass returns the actions to take now. It processes expired timers and renews
+// leases first, then relieves overcommitted workers, starts the tasks for which
+// capacity was freed, and starts waiting tasks, urgent ones first. After that it
+// ends throttling where it can and orders cancelled tasks to stop.
 func (p *Placer[F, S, J]) Pass(now clock.Millis) Plan {
 	p.handleTimers(now)
 	p.renewLeases(now)
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -284,8 +284,11 @@
 	p.out.Actions = append(p.out.Actions, t.pendingAction)
 }
 
-// ReportUsage records what a running task uses. Reports may arrive late; a report
-// of an earlier attempt only contributes to the learned size of the class.
+// ReportUsage records what a running task uses and adjusts what it has reserved.
+// For a throttled task it does not adjust the reservation, but repeats the order to
+// throttle if the task uses more processors than it has reserved. Reports may
+// arrive late; a report of an earlier attempt only contributes to the learned size
+// of the class.
 func (p *Placer[F, S, J]) ReportUsage(id TaskID, attempt int, used Size) {
 	t := p.tasks[id]
 	if t == nil {
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -23,8 +23,9 @@
 
 // preemptFor frees capacity for an urgent task on the worker where that costs
 // least, and reserves the worker: it gets no other task until the capacity is
-// free. It reports whether capacity can be freed on any worker; if not, it sets
-// the customer's waitReason.
+// free. If throttling alone frees enough, it starts the task at once. It reports
+// whether capacity can be freed on any worker; if not, it sets the customer's
+// waitReason.
 func (p *Placer[F, S, J]) preemptFor(customer *customerState, t *task, need Size, now clock.Millis) bool {
 	var best *worker
 	var victims []victim
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -58,8 +58,9 @@
 	return &Deviation{StdDevs: stdDevs, seen: map[Class]*moments{}}
 }
 
-// Observe updates the mean and variance of the class. From the twentieth report
-// on, each new one has a weight of 1/20.
+// Observe updates the averages of the class and the most accelerators that it has
+// used. From the twentieth report on, each new one has a weight of 1/20 in the
+// averages.
 func (d *Deviation) Observe(c Class, used Size) {
 	m := d.seen[c]
 	if m == nil {
@@ -75,8 +76,9 @@
 	m.maxAccelerators = max(m.maxAccelerators, used.Accelerators)
 }
 
-// Estimate returns the mean plus StdDevs standard deviations, or the declared
-// size if the class has too few reports.
+// Estimate returns the mean plus StdDevs standard deviations of processors and
+// memory, and the most accelerators ever reported or, if more, the declared ones.
+// If the class has too few reports it returns the declared size.
 func (d *Deviation) Estimate(c Class, declared Size) Size {
 	m := d.seen[c]
 	if m == nil || m.reports < minReports {
@@ -88,8 +90,9 @@
 	return Size{MilliCores: estimate(0), MemoryMiB: estimate(1), Accelerators: max(declared.Accelerators, m.maxAccelerators)}
 }
 
-// Quantile reserves a high quantile of the latest windowReports reports. It
-// assumes nothing about their distribution and forgets older ones.
+// Quantile reserves a high quantile of the processors and memory in the latest
+// windowReports reports. It assumes nothing about their distribution and forgets
+// older ones. The most accelerators are never forgotten.
 type Quantile struct {
 	// Percent is the share of reports that the reserved size covers, 1 to 100.
 	Percent int
@@ -125,8 +128,9 @@
 	w.maxAccelerators = max(w.maxAccelerators, used.Accelerators)
 }
 
-// Estimate returns the quantile of each resource, or the declared size if the
-// class has too few reports.
+// Estimate returns the quantiles of processors and memory, and the most
+// accelerators ever reported or, if more, the declared ones. If the class has too
+// few reports it returns the declared size.
 func (q *Quantile) Estimate(c Class, declared Size) Size {
 	w := q.seen[c]
 	if w == nil || w.observed < minReports {
@@ -135,14 +139,15 @@
 	n := min(w.observed, windowReports)
 	above := n - (n*q.Percent+99)/100
 	return Size{
-		MilliCores:   nthLargest(w.used[:n], above, func(s Size) int { return s.MilliCores }),
-		MemoryMiB:    nthLargest(w.used[:n], above, func(s Size) int { return s.MemoryMiB }),
+		MilliCores:   largestWithoutTop(w.used[:n], above, func(s Size) int { return s.MilliCores }),
+		MemoryMiB:    largestWithoutTop(w.used[:n], above, func(s Size) int { return s.MemoryMiB }),
 		Accelerators: max(declared.Accelerators, w.maxAccelerators),
 	}
 }
 
-// nthLargest returns the largest value after the n largest ones are left out.
-func nthLargest(used []Size, n int, value func(Size) int) int {
+// largestWithoutTop returns the largest value that remains when the n largest ones
+// are left out.
+func largestWithoutTop(used []Size, n int, value func(Size) int) int {
 	var sorted [windowReports]int
 	for k, s := range used {
 		pos := k
--- a/core/state/place/task.go
+++ b/core/state/place/task.go
@@ -17,7 +17,8 @@
 
 // Settings are the parameters of task placement.
 type Settings struct {
-	// LeaseMillis is how long a worker may run tasks after its last heartbeat.
+	// LeaseMillis is how long a worker may run tasks after the pass that followed
+	// its last heartbeat and renewed its lease.
 	LeaseMillis clock.Millis
 	// SkewMillis is the largest amount by which a worker's clock may fall
 	// behind within one lease.
@@ -76,8 +77,9 @@
 	// of equal urgency, those with a higher Priority start first.
 	Urgent   bool
 	Priority int
-	// Declared is the size that the submitter states. A sizer that learns uses it
-	// only until it has enough reports on the class.
+	// Declared is the size that the submitter states. A sizer that learns uses its
+	// processors and memory only until it has enough reports on the class, and its
+	// accelerators as a minimum after that.
 	Declared Size
 	// Submitted is the time of the submission.
 	Submitted clock.Millis
