Match the comments of package sched to its code

updateRuns updates and does not compare; lastFailedOn holds only tasks whose latest run failed; updateHealth also needs quarantineFailedJobs failures, and a success does not make a failure of the same job count again. vacateWorkers, moveMachineTo and releaseIdle left out ReserveMachines, dropMissingMachines which unlisted machines it keeps. RunReport.StartedAt and run.assignedAt are the start of the term for earlier runs. benchmarkFleet runs ten tasks for each worker of a pool, not on each worker.

--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -8,9 +8,9 @@
 	"camphorridge/core/state/place"
 )
 
-// benchmarkFleet returns a scheduler with n workers in pools of 70, and the
-// last heartbeat of each worker. Each worker runs ten tasks and has capacity
-// for more.
+// benchmarkFleet returns a scheduler with n workers in pools of 70, and a
+// heartbeat of each worker that lists its runs. A pool runs ten tasks for each of
+// its workers and has capacity for sixteen.
 func benchmarkFleet(n int) (*testScheduler, []Heartbeat) {
 	state := jobs.New()
 	c := jobs.Config{Version: 1}
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -11,7 +11,8 @@
 // WaitReason is the reason why waiting tasks do not start.
 type WaitReason string
 
-// The wait reasons, in the order in which they are checked.
+// The wait reasons, in the order in which they are checked. Those about workers
+// refer to the workers that passed all earlier checks.
 const (
 	// WaitNone means that no task waits, or that the job has ended.
 	WaitNone WaitReason = ""
@@ -64,10 +65,12 @@
 
 // RunReport describes a run of a task that is assigned to a worker.
 type RunReport struct {
-	Task      jobs.TaskID
-	Run       int
-	Worker    jobs.WorkerID
-	Percent   int
+	Task    jobs.TaskID
+	Run     int
+	Worker  jobs.WorkerID
+	Percent int
+	// StartedAt is when the run was assigned; for a run assigned in an earlier
+	// term, it is the start of this term.
 	StartedAt clock.Millis
 	// StopReason is empty unless the run is being stopped.
 	StopReason string
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -88,7 +88,8 @@
 	return chosen
 }
 
-// failedWorkers returns the workers on which tasks of the group failed last.
+// failedWorkers returns the workers on which the latest run of a task of the group
+// failed.
 func (s *Scheduler[P, H]) failedWorkers(g *taskGroup) map[jobs.WorkerID]bool {
 	failed := map[jobs.WorkerID]bool{}
 	for n := range g.step.TaskCount {
@@ -100,7 +101,7 @@
 }
 
 // fitCount returns how many tasks of the group fit into the given resources of
-// the worker, at most MaxPerWorker.
+// the worker, at most MaxPerWorker, or TaskCount if MaxPerWorker is 0.
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
 	reserved, n := reservation(g.step), 0
 	limit := cmp.Or(g.step.MaxPerWorker, g.step.TaskCount)
@@ -143,7 +144,8 @@
 // reservesCapacity reports whether the free resources of the pool are reserved
 // for a gang, so that lower-ranked work must wait. Without this, a gang of many
 // tasks would never find enough free resources at once. Nothing is reserved for
-// a gang that is late, that does not fit in the pool or that waits for advice.
+// a gang that is late, that has waited for less than gangReserveDelayMillis,
+// that does not fit in the pool or that waits for advice.
 func (s *Scheduler[P, H]) reservesCapacity(p *pool, g *taskGroup, now clock.Millis) bool {
 	if g.rank.Class == classLate || now-g.waitingSince < gangReserveDelayMillis {
 		return false
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -175,8 +175,8 @@
 	}
 }
 
-// updateRuns compares the runs in a heartbeat with those assigned to the
-// worker.
+// updateRuns updates the runs that are assigned to the worker from its heartbeat,
+// and records those in the heartbeat that are not assigned to it.
 func (s *Scheduler[P, H]) updateRuns(w *worker, h Heartbeat, now clock.Millis) {
 	for _, r := range w.runs {
 		r.listed = false
@@ -227,7 +227,8 @@
 // When a worker sends a heartbeat, it has processed or dropped the reply to the
 // one before. An earlier start order for a run that the heartbeat does not list
 // can therefore no longer take effect, and if the run should not start any
-// more, it is ended as lost.
+// more, it is ended as lost. On a draining worker, the long-running tasks that
+// the heartbeat lists are stopped.
 func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
 	for t, extra := range w.unassigned {
 		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
@@ -317,9 +318,10 @@
 
 // updateHealth updates the worker's failure score with the result of a run,
 // which is compared to the results of the queue's tasks on other workers. It
-// quarantines the worker when the score reaches a threshold. Successive
-// failures of one job count once, because a job that cannot succeed fails on
-// every worker.
+// quarantines the worker when the score reaches a threshold and
+// quarantineFailedJobs failures in a row have counted. A failure does not count
+// if the last one that counted on the worker was of the same job, because a job
+// that cannot succeed fails on every worker.
 func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
 	p := s.pool(w.pool)
 	history := p.history[r.rec.Queue]
@@ -346,8 +348,9 @@
 	}
 }
 
-// quarantineFailedJobs is the number of jobs that must fail on a worker,
-// without a successful run in between, before it is quarantined.
+// quarantineFailedJobs is the number of failures that must count on a worker,
+// without a successful run in between, before it is quarantined. Two successive
+// ones that count are of different jobs.
 const quarantineFailedJobs = 2
 
 // replyTime returns when a worker's heartbeat must be answered. It is answered
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -193,8 +193,9 @@
 	}
 }
 
-// queueOccurrence queues the waiting tasks of an occurrence whose dependencies
-// are done.
+// queueOccurrence queues the waiting tasks in those steps of an occurrence whose
+// dependencies are done. It also counts the work of all steps of the occurrence
+// as newly arrived in the pool.
 func (s *Scheduler[P, H]) queueOccurrence(rec *jobs.Record, occurrence int, now clock.Millis) {
 	p := s.pool(s.poolOf(rec))
 	for step := range rec.Steps {
@@ -260,7 +261,9 @@
 const maxRankAgeMillis clock.Millis = 100
 
 // sortGroups sorts the groups of a pool by rank and removes those without
-// waiting tasks.
+// waiting tasks or of ended jobs. It recomputes the ranks if that was last done
+// at least maxRankAgeMillis ago. If it was done later and no group was added
+// since the last sort, sortGroups does nothing.
 func (s *Scheduler[P, H]) sortGroups(p *pool, now clock.Millis) {
 	refresh := now-p.rankedAt >= maxRankAgeMillis
 	if !refresh && p.sorted {
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -381,8 +381,9 @@
 }
 
 // moveMachineTo orders the move of one machine to a pool: a standby machine or,
-// if there is none, the longest idle machine of a pool that has more machines
-// than it needs. It returns false if there is no such machine.
+// if there is none, the longest idle machine of a pool that has more than
+// ReserveMachines machines beyond those that it needs. Machines that may not be
+// moved yet are skipped. It returns false if there is no such machine.
 func (s *Scheduler[P, H]) moveMachineTo(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
 	for _, m := range slices.Sorted(maps.Keys(s.fleet.standby)) {
 		if s.fleet.notMovableUntil[m] <= now && !s.mayBeDown(m) {
@@ -410,10 +411,11 @@
 	return false
 }
 
-// vacateWorkers keeps new tasks off busy workers of pools that have more
-// machines than they need, up to the number of machines that other pools lack.
-// Otherwise a stream of short tasks, of a second or two, would keep each of
-// these workers slightly busy for as long as its pool has any work, and its
+// vacateWorkers keeps new tasks off busy workers of pools that have more than
+// ReserveMachines machines beyond those that they need, up to the number of
+// machines that other pools lack. It lets the other busy workers get new tasks
+// again. Otherwise a stream of short tasks, of a second or two, would keep each
+// of these workers slightly busy for as long as its pool has any work, and its
 // machine could not be moved.
 func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
 	for i := len(loads) - 1; i >= 0; i-- {
@@ -430,7 +432,8 @@
 	}
 }
 
-// releaseIdle moves machines that stay idle to the standby pool.
+// releaseIdle moves machines that stay idle to the standby pool. Each pool keeps
+// ReserveMachines machines beyond those that it needs.
 func (s *Scheduler[P, H]) releaseIdle(loads []*poolLoad, standby jobs.PoolName, now clock.Millis) {
 	target := &poolLoad{name: standby}
 	for _, load := range loads {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -23,9 +23,10 @@
 	// workerByMachine holds the latest worker of each machine.
 	workerByMachine map[jobs.MachineID]*worker
 	// removedIncarnations holds the latest removed incarnation of each worker.
-	// Its late heartbeats are rejected.
+	// Late heartbeats of this incarnation and earlier ones are rejected.
 	removedIncarnations map[jobs.WorkerID]jobs.Incarnation
-	// lastFailedOn holds the worker on which a task failed last.
+	// lastFailedOn holds, for each task whose latest ended run failed, the worker
+	// of that run.
 	lastFailedOn map[jobs.TaskID]jobs.WorkerID
 	pools        map[jobs.PoolName]*pool
 	// poolByQueue maps the configured queues to their pools.
@@ -112,9 +113,9 @@
 	// ordered; from then on the worker's tasks count as unavailable.
 	cordoned  bool
 	goingDown bool
-	// failedJobsInRow counts the jobs with a failed task on this worker since
-	// the last successful run on it. lastFailedJob is the latest job with a
-	// failed task on it.
+	// failedJobsInRow is the number of failures on this worker since the last
+	// successful run on it. Successive failures of one job count once.
+	// lastFailedJob is the job of the latest failure; a success does not clear it.
 	failedJobsInRow int
 	lastFailedJob   jobs.ID
 	// vacating keeps new tasks off a worker whose machine another pool needs.
@@ -164,8 +165,9 @@
 	percent    int
 	load       int
 	checkpoint string
-	// assignedAt is when the run was assigned. progressedAt is when its
-	// progress was last seen to change.
+	// assignedAt is when the run was assigned. progressedAt is when its progress
+	// was last seen to change. New sets both to the start of the term for a run
+	// of an earlier term.
 	assignedAt   clock.Millis
 	progressedAt clock.Millis
 	stopping     bool
@@ -291,7 +293,8 @@
 }
 
 // noteJobEnd adds a note on the end of a job: how long it took, by how much it
-// was late, and how many runs it needed. It also drops the job's advice.
+// was late if it completed, and how many runs it had and how many of them
+// failed. It also drops the job's advice.
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -108,7 +108,8 @@
 	replies []simReply
 	// done holds the tasks that were recorded as done in a committed operation.
 	done map[jobs.TaskID]bool
-	// failures counts the failed runs of each task.
+	// failures counts the failed runs of each task; for a task of a gang, those of
+	// the gang.
 	failures map[jobs.TaskID]int
 	// countedFailures holds the runs that are counted in failures.
 	countedFailures map[runKey]bool
--- a/core/state/sched/throttle.go
+++ b/core/state/sched/throttle.go
@@ -43,8 +43,9 @@
 
 // adjustSpeed slows down the best-effort tasks on a worker while a serving task
 // there is close to or above its latency target, and speeds them up step by
-// step once all are well below. The adjustment is fast enough for loads of
-// serving tasks that change within seconds.
+// step once all are well below. Without best-effort tasks it sets full speed.
+// The adjustment is fast enough for loads of serving tasks that change within
+// seconds.
 func (s *Scheduler[P, H]) adjustSpeed(w *worker, now clock.Millis) {
 	worstPermille, bestEffortTasks := w.tailLatency()
 	if bestEffortTasks == 0 {
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -423,7 +423,9 @@
 
 // dropMissingMachines records the maintenance of machines that no longer exist
 // as started, so that their waves do not wait for them. listed holds the
-// machines that exist.
+// machines in the platform's list; a machine that is not in it counts as
+// existing while it has a worker or an order without an answer. It also resets
+// the counts of refused orders.
 func (s *Scheduler[P, H]) dropMissingMachines(listed map[jobs.MachineID]bool, now clock.Millis) {
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
