Remove second readings from the comments of lend and place

'last got nothing more than' and 'limits it, among others' had two readings; the most accelerators 'are never forgotten' was a number and not the devices.

--- a/core/state/lend/fair.go
+++ b/core/state/lend/fair.go
@@ -23,8 +23,8 @@
 }
 
 // fairShare computes the fair share of the borrower of a request in its pool.
-// upstreams lists the pool's upstreams that may be lent. It also forgets, in all
-// pools, the borrowers that last got nothing more than starvedLeases leases ago.
+// upstreams lists the pool's upstreams that may be lent. It also removes the
+// entries of starved, for all pools, that are older than starvedLeases leases.
 func (l *Ledger[P]) fairShare(now clock.Millis, req LoanRequest, upstreams []UpstreamSlots) fairShare {
 	share := fairShare{held: map[model.Process]int{req.Borrower: 0}}
 	for key, granted := range l.lentLoans {
--- a/core/state/lend/policy.go
+++ b/core/state/lend/policy.go
@@ -45,7 +45,7 @@
 	// the slots whose request is still in flight.
 	SlotsToRequest(p Pressure) int
 	// SlotsToLend returns the number of slots to lend; 0 or less means none. The
-	// caller limits it, among others, to Lendable-Lent.
+	// caller limits it to Lendable-Lent and to the slots that are free and wanted.
 	SlotsToLend(s UpstreamSlots) int
 	// KeepIdle reports whether to keep a held loan without requests that has been
 	// idle for the given time.
--- a/core/state/place/sizer.go
+++ b/core/state/place/sizer.go
@@ -92,7 +92,8 @@
 
 // Quantile reserves a high quantile of the processors and memory in the latest
 // windowReports reports. It assumes nothing about their distribution and forgets
-// older ones. The most accelerators are never forgotten.
+// older ones. The largest number of accelerators is never
+// forgotten.
 type Quantile struct {
 	// Percent is the share of reports that the reserved size covers, 1 to 100.
 	Percent int
