Log why long-running tasks wait and which runs are not listed

New lines task-waiting and run-not-listed, every two seconds at most, and a count of quarantined workers in pool-load. Explain and the note use the same checks. No decision changes.

--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -167,27 +167,10 @@
 // task in turn, and returns the reason of the first one that no remaining
 // worker meets.
 func (s *Scheduler[P, H]) waitReason(rec *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
-	p := s.pool(s.poolOf(rec))
 	g := &taskGroup{key: stepKey{rec.ID, occurrence, step}, rec: rec, step: &rec.Steps[step]}
-	reserved := reservation(g.step)
-	remaining := slices.Collect(s.liveWorkers(p, now))
-	for _, check := range []struct {
-		reason WaitReason
-		meets  func(*worker) bool
-	}{
-		{WaitNoWorkers, func(*worker) bool { return true }},
-		{WaitLabel, func(w *worker) bool { return w.hasLabel(g) }},
-		{WaitSize, func(w *worker) bool { return reserved.FitsIn(w.capacity) }},
-		{WaitLeaving, func(w *worker) bool { return !w.draining && !w.cordoned && !w.goingDown && !w.vacating }},
-		{WaitQuarantine, func(w *worker) bool { return w.quarantinedUntil <= now }},
-		{WaitAdvice, func(w *worker) bool { return s.adviceAllows(w, g, now) }},
-		{WaitPerWorker, func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
-		{WaitCapacity, func(w *worker) bool { return reserved.FitsIn(w.capacity.Minus(w.used)) }},
-	} {
-		remaining = slices.DeleteFunc(remaining, func(w *worker) bool { return !check.meets(w) })
-		if len(remaining) == 0 {
-			return check.reason
-		}
+	filtered := s.filterWorkers(g, now)
+	if filtered.last.remaining == 0 {
+		return filtered.last.reason
 	}
 	if g.step.Gang {
 		return WaitGang
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -44,15 +44,18 @@
 	}
 	s.fleet.loadsNotedAt = now
 	for _, load := range loads {
-		withLongRunning := 0
+		withLongRunning, quarantined := 0, 0
 		for _, w := range s.workers {
 			if w.pool == load.name && w.hasLongRunning() {
 				withLongRunning++
 			}
+			if w.pool == load.name && w.quarantinedUntil > now {
+				quarantined++
+			}
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
-			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d core-ms of work waiting, %d assigned jobs that no worker has reported",
-			load.name, load.machines, load.needed, len(load.idle), withLongRunning, s.pool(load.name).waitingMilliCoreMillis()/1000, s.assignedPending(load.name)))
+			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d quarantined, %d core-ms of work waiting, %d assigned jobs that no worker has reported",
+			load.name, load.machines, load.needed, len(load.idle), withLongRunning, quarantined, s.pool(load.name).waitingMilliCoreMillis()/1000, s.assignedPending(load.name)))
 	}
 }
 
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -15,6 +15,8 @@
 	DecisionEnded               Decision = "run-ended"
 	DecisionStopped             Decision = "run-stopped"
 	DecisionQuarantined         Decision = "worker-set-aside"
+	DecisionTaskWaiting         Decision = "task-waiting"
+	DecisionRunNotListed        Decision = "run-not-listed"
 	DecisionAdviceReceived      Decision = "advice-taken"
 	DecisionAdviceMissing       Decision = "advice-missing"
 	DecisionPoolLoad            Decision = "pool-load"
@@ -34,7 +36,7 @@
 // explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
-	DecisionQuarantined, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
+	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionStateLoaded, DecisionStateDiscarded,
 }
 
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -23,6 +23,7 @@
 	}
 	clear(s.dirtyPools)
 	s.rebalance(now)
+	s.noteWaiting(now)
 	s.addReplies(now)
 	plan := s.plan
 	plan.NextPass = s.nextPass(now)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -64,7 +64,10 @@
 	dirtyPools map[*pool]bool
 	// nextWaveCheck is when the waves are advanced next.
 	nextWaveCheck clock.Millis
-	plan          Plan
+	// waitingNotedAt is the time of the latest notes on long-running tasks that do
+	// not run.
+	waitingNotedAt clock.Millis
+	plan           Plan
 }
 
 // replyDeadline is the time at which a heartbeat must be answered.
