sched: keep a running worker when a late departure of an earlier one arrives

What callers saw: a worker that restarted under its id could be removed by the departure of its earlier incarnation. Its tasks started elsewhere at once, beside their runs, and its later heartbeats were refused for good.

Cause: a departure names no incarnation on the wire, and an incarnation of 0 matched any worker. It now matches only a worker that is draining, which each worker is before it exits. A worker that exits without being heard as draining is removed after its lease, as after a crash.

--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -267,8 +267,8 @@
 	}
 }
 
-// RemoveWorker removes a worker that has exited. An incarnation of 0 matches any.
-// It returns false when the ring is full.
+// RemoveWorker removes a worker that has exited. An incarnation of 0 matches only a
+// worker that is draining. It returns false when the ring is full.
 func (r *Runner[G, M, O, J]) RemoveWorker(id jobs.WorkerID, incarnation jobs.Incarnation) bool {
 	return r.in.TryPut(input{departure: &departure{worker: id, incarnation: incarnation}})
 }
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -294,10 +294,12 @@
 	}
 }
 
-// RemoveWorker removes a worker that has exited. An incarnation of 0 matches
-// any.
+// RemoveWorker removes a worker that has exited. An incarnation of 0 stands for an
+// unknown one and matches only a worker that is draining, which each worker is before
+// it exits: the departure may be a late one of an earlier incarnation. If it does not
+// match, the tasks of a worker that has exited start elsewhere after its lease.
 func (s *Scheduler[P, H]) RemoveWorker(id jobs.WorkerID, incarnation jobs.Incarnation, now clock.Millis) {
-	if w := s.workers[id]; w != nil && (incarnation == 0 || incarnation == w.incarnation) {
+	if w := s.workers[id]; w != nil && (incarnation == w.incarnation || (incarnation == 0 && w.draining)) {
 		s.dropWorker(w, "the worker exited", now)
 	}
 }
