Let cordons yield to long-running tasks that no other worker takes

A wave cordons the machines that come next, and orders none of them down while a step on it has its MaxUnavailable used up. If the missing task of one step fits only on a cordoned machine that another step keeps up, and the other way round, nothing ends it. The same holds for a cordoned machine that waits for its finite tasks.

A cordon now yields to a long-running task that has waited for longer than unplacedWaitMillis (800 ms), in which each available worker has sent a heartbeat. The missing tasks start, and the machines may go down in turn. Orders still obey MaxUnavailable and MaxDown. Explain and the task-waiting line use the same check, with the group's real waiting time.

Both tests of exclusion_test.go failed before.

--- /dev/null
+++ b/core/state/sched/exclusion_test.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// maxIdleMillis is the longest time that a long-running task may wait while a worker
+// has room for it.
+const maxIdleMillis = 6 * clock.Second
+
+// servingStep is a long-running step whose two tasks run on different workers. One of
+// them may be unavailable.
+var servingStep = jobs.Step{
+	TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1,
+}
+
+// heartbeatOf sends a heartbeat of a worker of pool p whose long-running tasks serve
+// and whose finite tasks are half done. The runs of the given jobs have failed.
+func (f *fixture) heartbeatOf(id string, failed ...jobs.ID) {
+	w := f.workers[jobs.WorkerID(id)]
+	var running []RunStatus
+	var ends []RunEnd
+	for _, task := range sortedTaskIDs(w.runs) {
+		r := w.runs[task]
+		switch {
+		case slices.Contains(failed, task.Job):
+			ends = append(ends, RunEnd{Number: int64(len(ends) + 1), Task: task, Run: r.number, Result: jobs.ResultFailed})
+		case r.step.LongRunning:
+			running = append(running, RunStatus{Task: task, Run: r.number, Percent: 100})
+		default:
+			running = append(running, RunStatus{Task: task, Run: r.number, Percent: 50})
+		}
+	}
+	f.heartbeat(id, w.incarnation, running, ends...)
+}
+
+// runs returns the number of tasks of a job that are assigned to a worker.
+func (f *fixture) runs(job jobs.ID, id string) int {
+	n := 0
+	for task := range f.workers[jobs.WorkerID(id)].runs {
+		if task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// advance passes the given time, with heartbeats of the workers. It returns the
+// maintenance orders, which the platform does not answer.
+func (f *fixture) advance(d clock.Millis, ids ...string) []Action {
+	var orders []Action
+	for end := f.now + d; f.now < end; {
+		f.now += 200
+		for _, id := range ids {
+			f.heartbeatOf(id)
+		}
+		orders = append(orders, actionsOf(f.Pass(f.now), ActionMaintain)...)
+	}
+	return orders
+}
+
+// newExclusionFixture returns a fixture with workers w1 and w2 on which the tasks of
+// the given jobs, two of each, serve.
+func newExclusionFixture(ids ...jobs.ID) *fixture {
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	for _, id := range ids {
+		f.submit(string(id), servingStep)
+	}
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	f.advance(clock.Second, "w1", "w2")
+	return f
+}
+
+// TestCordonsDoNotBlockEachOther guards against two cordoned machines each of which is
+// the only one with room for the missing task of a step that keeps the other one up.
+func TestCordonsDoNotBlockEachOther(t *testing.T) {
+	f := newExclusionFixture("a", "b")
+	f.now += waveCheckPeriodMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 4000}, f.now)
+	f.heartbeatOf("w1", "b")
+	f.heartbeatOf("w2", "a")
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+	f.advance(maxIdleMillis, "w1", "w2")
+	assert.Equal(t, f.runs("a", "w2"), 1)
+	assert.Equal(t, f.runs("b", "w1"), 1)
+}
+
+// TestCordonYieldsWhileFiniteTasksRun guards against a long-running task that waits for
+// as long as finite tasks keep the only machine with room for it from its maintenance.
+func TestCordonYieldsWhileFiniteTasksRun(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.submit("finite", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 10_000, MemoryMiB: 100}, Estimate: 20_000})
+	f.heartbeatOf("w1")
+	f.heartbeatOf("w2")
+	f.Pass(f.now)
+	assert.Equal(t, f.runs("finite", "w2"), 1)
+	f.now += waveCheckPeriodMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	f.heartbeatOf("w1")
+	f.heartbeatOf("w2", "a")
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+	f.advance(maxIdleMillis, "w1", "w2")
+	assert.Equal(t, f.runs("a", "w2"), 1)
+}
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -167,7 +167,11 @@
 // task in turn, and returns the reason of the first one that no remaining
 // worker meets.
 func (s *Scheduler[P, H]) waitReason(rec *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
-	g := &taskGroup{key: stepKey{rec.ID, occurrence, step}, rec: rec, step: &rec.Steps[step]}
+	key := stepKey{rec.ID, occurrence, step}
+	g := s.pool(s.poolOf(rec)).groupByStep[key]
+	if g == nil {
+		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[step], waitingSince: now}
+	}
 	filtered := s.filterWorkers(g, now)
 	if filtered.last.remaining == 0 {
 		return filtered.last.reason
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -13,8 +13,9 @@
 // Timing of the load of the pools.
 const (
 	// unplacedWaitMillis is how long a long-running task waits before its pool
-	// counts as lacking a machine for it. It is longer than the maximum delay
-	// of a reply to a heartbeat.
+	// counts as lacking a machine for it and cordons yield to it. It is longer than
+	// the maximum delay of a reply to a heartbeat, so that each available worker has
+	// been considered.
 	unplacedWaitMillis clock.Millis = 800
 	// loadNotePeriodMillis is the interval between two notes about the load of
 	// the pools.
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -156,15 +156,6 @@
 	return w.heartbeat != nil && s.acceptsGroup(w, g, now) && s.adviceAllows(w, g, now) && (g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker)
 }
 
-// acceptsGroup reports whether a worker accepts new tasks and has the label
-// that the group requires.
-func (s *Scheduler[P, H]) acceptsGroup(w *worker, g *taskGroup, now clock.Millis) bool {
-	if w.draining || w.cordoned || w.goingDown || w.vacating || w.quarantinedUntil > now {
-		return false
-	}
-	return w.hasLabel(g)
-}
-
 // hasLabel reports whether the worker has the label that the group requires, if
 // any.
 func (w *worker) hasLabel(g *taskGroup) bool {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -119,7 +119,7 @@
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
-	// soon. goingDown is set once the maintenance or a move of the machine is
+	// soon, but for long-running ones that no other worker takes. goingDown is set once the maintenance or a move of the machine is
 	// ordered; from then on the worker's tasks count as unavailable.
 	cordoned  bool
 	goingDown bool
--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -35,7 +35,7 @@
 		{WaitSize, "size", func(w *worker) bool { return reserved.FitsIn(w.capacity) }},
 		{WaitLeaving, "draining", func(w *worker) bool { return !w.draining }},
 		{WaitLeaving, "going-down", func(w *worker) bool { return !w.goingDown }},
-		{WaitLeaving, "cordoned", func(w *worker) bool { return !w.cordoned }},
+		{WaitLeaving, "cordoned", func(w *worker) bool { return !w.cordonedFor(g, now) }},
 		{WaitLeaving, "vacating", func(w *worker) bool { return !w.vacating }},
 		{WaitQuarantine, "quarantined", func(w *worker) bool { return w.quarantinedUntil <= now }},
 		{WaitAdvice, "advice", func(w *worker) bool { return s.adviceAllows(w, g, now) }},
