Derive goingDown from the open downtimes and moves

A worker that had returned from its maintenance could get no tasks for good. A repeated order marks the returned worker, but its downtime keeps the incarnation of the first order. If the repeated order is refused and not given again, because a step on the machine has its MaxUnavailable used up, the downtime ends and clearGoingDown finds another incarnation: the flag stays, and the worker's tasks count as unavailable, which keeps other machines up too. The other way round, a move that times out cleared the flag of a maintenance order in flight, so that tasks started on the machine and more than MaxUnavailable could end. A refused order cleared it beside the order of another wave, and without waking the pool.

The flag now has one writer, updateGoingDown, called whenever a downtime or a move begins or ends. It is set exactly while one is open that was ordered for this incarnation of the worker.

TestRefusedRepeatFreesReturnedWorker and TestMoveTimeoutKeepsOrderInFlight failed before.

--- a/core/state/sched/absence.go
+++ b/core/state/sched/absence.go
@@ -84,8 +84,9 @@
 		return
 	}
 	delete(v.down, m)
+	s.updateGoingDown(m)
 	if w := s.workerByMachine[m]; w != nil {
-		w.cordoned, w.goingDown = false, false
+		w.cordoned = false
 	}
 }
 
@@ -180,6 +181,7 @@
 	}
 	for _, m := range gone {
 		delete(v.down, m)
+		s.updateGoingDown(m)
 		s.noteFleet(DecisionMaintenanceDropped, fmt.Sprintf("machine %s of wave %d no longer exists: it is missing from %d lists", m, v.Number, s.absences[m].lists))
 		s.recordStarted(v, m, evidenceAbsence, now)
 	}
--- a/core/state/sched/absence_simulation_test.go
+++ b/core/state/sched/absence_simulation_test.go
@@ -181,6 +181,7 @@
 		for i := 0; i < 1500 && !sim.leader.State.Waves[1].Completed(); i++ {
 			sim.faultsOff = i >= 300
 			sim.step()
+			assert.NilError(t, goingDownError(sim.leader), "seed %d", seed)
 		}
 		assert.Assert(t, sim.leader.State.Waves[1].Completed(), "seed %d: the wave has not completed", seed)
 		if m := sim.unstarted(); m != nil {
--- a/core/state/sched/exclusion_simulation_test.go
+++ b/core/state/sched/exclusion_simulation_test.go
@@ -149,6 +149,9 @@
 		sim.send(a)
 	}
 	sim.checkIdle()
+	if err := goingDownError(sim.leader); err != nil {
+		sim.failf("%w", err)
+	}
 }
 
 // submit submits finite work and declares the waves, of which three overlap.
@@ -370,11 +373,23 @@
 	}
 }
 
+// goingDownError returns an error unless each worker counts as going down exactly while a
+// maintenance or a move that was ordered for it is open.
+func goingDownError(s *testScheduler) error {
+	for _, m := range slices.Sorted(maps.Keys(s.workerByMachine)) {
+		if w := s.workerByMachine[m]; w.goingDown != s.hasOpenOrder(w) {
+			return fmt.Errorf("%s counts as going down: %v", w.id, w.goingDown)
+		}
+	}
+	return nil
+}
+
 // TestSimulatedPool runs seeded random pools. It guards against a long-running task
 // that waits while a machine has room for it, more than MaxDown machines that are down
-// for a wave, and a wave that never completes.
+// for a wave, a worker that counts as going down without an open order, and a wave that
+// never completes.
 func TestSimulatedPool(t *testing.T) {
-	n := uint64(200)
+	n := uint64(300)
 	if testing.Short() {
 		n /= 10
 	}
--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -111,3 +111,52 @@
 	f.advance(maxIdleMillis, "w1", "w2")
 	assert.Equal(t, f.runs("a", "w2"), 1)
 }
+
+// TestRefusedRepeatFreesReturnedWorker guards against a worker that gets no tasks after
+// it returned from its maintenance, because a repeated order was refused after that.
+func TestRefusedRepeatFreesReturnedWorker(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	order := f.advance(200, "w1", "w2")[0]
+	f.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, f.now)
+	// The first order is carried out, and the repeated ones are refused.
+	f.now += 2 * clock.Second
+	f.heartbeatOf("w1")
+	f.HandleOutcome(actionsOf(f.Pass(f.now), ActionMaintain)[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
+	f.heartbeat("w2", 2, nil)
+	f.Pass(f.now)
+	assert.Equal(t, f.runs("a", "w2"), 1)
+	f.now += maintenanceRetryMillis
+	f.heartbeatOf("w1")
+	f.heartbeatOf("w2")
+	f.HandleOutcome(actionsOf(f.Pass(f.now), ActionMaintain)[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
+	// Without w1 a task is missing, so the order is not repeated again.
+	f.RemoveWorker("w1", 1, f.now)
+	f.submit("b", servingStep)
+	assert.Equal(t, len(f.advance(maxIdleMillis, "w2")), 0)
+	assert.Equal(t, f.runs("b", "w2"), 1)
+}
+
+// TestMoveTimeoutKeepsOrderInFlight guards against tasks that start on a machine whose
+// maintenance is ordered, and against counting its tasks as available, because a move of
+// the machine that was ordered before has timed out.
+func TestMoveTimeoutKeepsOrderInFlight(t *testing.T) {
+	f := newExclusionFixture()
+	w := f.workers["w2"]
+	w.goingDown = true
+	f.orderMove("m-w2", 1, &poolLoad{name: "other"}, f.now)
+	f.listFleet()
+	f.fleet.nextRebalance = f.now + moveTimeoutMillis + 150
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	f.now += moveTimeoutMillis + 100
+	f.heartbeatOf("w2")
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 1)
+	f.now += 100
+	f.Pass(f.now)
+	assert.Assert(t, w.goingDown)
+}
+
+// listFleet answers the request for the list of machines.
+func (f *fixture) listFleet() {
+	f.HandleOutcome(Action{Kind: ActionListMachines, RequestedAt: f.fleet.listRequestedAt}, listOf("m-w1", "m-w2"), f.now)
+}
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -84,7 +84,7 @@
 	for m, move := range s.fleet.moves {
 		if now-move.orderedAt > moveTimeoutMillis {
 			delete(s.fleet.moves, m)
-			s.clearGoingDown(s.workerByMachine[m], move.incarnation)
+			s.updateGoingDown(m)
 		}
 	}
 	loads := s.updatePoolLoads(now)
@@ -150,7 +150,6 @@
 			}
 			from.idle = slices.Delete(from.idle, k, k+1)
 			from.machines--
-			w.goingDown = true
 			s.orderMove(w.machine, w.incarnation, target, now)
 			return true
 		}
@@ -189,7 +188,6 @@
 				continue
 			}
 			load.machines--
-			w.goingDown = true
 			s.orderMove(w.machine, w.incarnation, target, now)
 		}
 	}
@@ -211,6 +209,7 @@
 func (s *Scheduler[P, H]) orderMove(m jobs.MachineID, incarnation jobs.Incarnation, to *poolLoad, now clock.Millis) {
 	to.machines++
 	s.fleet.moves[m] = machineMove{to: to.name, incarnation: incarnation, orderedAt: now}
+	s.updateGoingDown(m)
 	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
 }
 
@@ -233,6 +232,7 @@
 		}
 		if action.Pool == s.standbyPool() {
 			delete(s.fleet.moves, action.Machine)
+			s.updateGoingDown(action.Machine)
 			s.fleet.standby[action.Machine] = action.Pool
 			s.fleet.notMovableUntil[action.Machine] = now + s.settings.MoveMillis
 		}
@@ -240,10 +240,8 @@
 		s.fleet.notMovableUntil[action.Machine] = now + moveTimeoutMillis
 	default:
 		delete(s.fleet.moves, action.Machine)
+		s.updateGoingDown(action.Machine)
 		s.fleet.notMovableUntil[action.Machine] = now + moveRetryMillis
-		if sameIncarnation {
-			w.goingDown = false
-		}
 	}
 }
 
@@ -253,6 +251,7 @@
 func (s *Scheduler[P, H]) machineArrived(w *worker) {
 	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation != w.incarnation && move.to == w.pool {
 		delete(s.fleet.moves, w.machine)
+		s.updateGoingDown(w.machine)
 	}
 	delete(s.fleet.standby, w.machine)
 }
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -119,8 +119,9 @@
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
-	// soon, but for long-running ones that no other worker takes. goingDown is set once the maintenance or a move of the machine is
-	// ordered; from then on the worker's tasks count as unavailable.
+	// soon, but for long-running ones that no other worker takes. goingDown is set while a maintenance or a move of the machine that was
+	// ordered for this incarnation is open; the worker's tasks count as unavailable
+	// then. Only updateGoingDown changes it.
 	cordoned  bool
 	goingDown bool
 	// failedJobsInRow is the number of failures on this worker since the last
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -58,6 +58,9 @@
 	// maintenance was ordered or, later, when the order was answered; 0 for
 	// none or unknown.
 	incarnation jobs.Incarnation
+	// orderedFor is the incarnation of the worker that the latest order of this
+	// term would end; 0 for none.
+	orderedFor jobs.Incarnation
 	// earliestReturn is the time from which a heartbeat of another incarnation
 	// shows that the machine is back.
 	earliestReturn clock.Millis
@@ -131,7 +134,7 @@
 		}
 		if returned || now >= max(down.since, s.termStart)+longest {
 			delete(v.down, m)
-			s.clearGoingDown(w, down.incarnation)
+			s.updateGoingDown(m)
 			if v.Started[m] {
 				s.uncordon(w)
 			}
@@ -149,16 +152,6 @@
 	}
 }
 
-// clearGoingDown is called when the time for the maintenance or move of a
-// machine is over. If its worker is still the given incarnation, the order was
-// not carried out, and the worker may get new tasks again. w may be nil.
-func (s *Scheduler[P, H]) clearGoingDown(w *worker, incarnation jobs.Incarnation) {
-	if w != nil && w.incarnation == incarnation && w.goingDown {
-		w.goingDown = false
-		s.dirtyPools[s.pool(w.pool)] = true
-	}
-}
-
 // advanceWave orders the maintenance of machines of a wave and keeps new tasks
 // off the machines that come next. At most MaxDown machines are down at a time,
 // and no more than the deadline requires. Machines of pools without waiting
@@ -344,8 +337,8 @@
 	}
 	down := downtime{since: now, earliestReturn: s.earliestReturn(now)}
 	if w != nil {
-		down.incarnation = w.incarnation
-		w.cordoned, w.goingDown = true, true
+		down.incarnation, down.orderedFor = w.incarnation, w.incarnation
+		w.cordoned = true
 	}
 	if previous, ok := v.down[m]; ok {
 		down.since = previous.since
@@ -354,6 +347,7 @@
 		}
 	}
 	v.down[m] = down
+	s.updateGoingDown(m)
 	s.noteMaintenanceOrder(v, m, w)
 	v.pending[m] = true
 	v.nextOrder[m] = now + maintenanceRetryMillis
@@ -448,9 +442,7 @@
 		// out.
 		if !v.repeated[action.Machine] {
 			delete(v.down, action.Machine)
-			if w := s.workerByMachine[action.Machine]; w != nil {
-				w.goingDown = false
-			}
+			s.updateGoingDown(action.Machine)
 		}
 		v.nextOrder[action.Machine] = now + maintenanceRetryMillis
 	case AnswerUnknown:
--- a/core/state/sched/wave_simulation_test.go
+++ b/core/state/sched/wave_simulation_test.go
@@ -108,6 +108,9 @@
 	for _, a := range actionsOf(p, ActionMaintain) {
 		sim.send(a, faults)
 	}
+	if err := goingDownError(sim.leader); err != nil && sim.err == nil {
+		sim.err = fmt.Errorf("at %d ms: %w", sim.now, err)
+	}
 }
 
 // stepMachine returns a machine from its move or maintenance, moves it, or sends
@@ -192,7 +195,8 @@
 
 // TestSimulatedWave runs seeded random waves with moves, slow, refused and lost
 // orders, late heartbeats and changes of leader. It guards against more than
-// MaxDown machines being down and against a wave that never completes.
+// MaxDown machines being down, against a wave that never completes and against a worker
+// that counts as going down without an open order.
 func TestSimulatedWave(t *testing.T) {
 	n := uint64(400)
 	if testing.Short() {
