End moves and vacating when the standby pool is removed

A configuration without a standby pool ends all rebalancing. A worker that was being vacated then got no new tasks until it ran nothing or exited, and one whose move had no answer counted as going down for good, because the check returned before it expired moves and updated vacating.

Moves now expire in each check, and without a standby pool no worker is vacated.

TestVacatingEndsWithoutStandbyPool and TestUnansweredMoveEndsWithoutStandbyPool failed before.

--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -160,3 +160,36 @@
 func (f *fixture) listFleet() {
 	f.HandleOutcome(Action{Kind: ActionListMachines, RequestedAt: f.fleet.listRequestedAt}, listOf("m-w1", "m-w2"), f.now)
 }
+
+// TestVacatingEndsWithoutStandbyPool guards against a worker that gets no tasks because
+// it was being vacated when a configuration without a standby pool ended all moves.
+func TestVacatingEndsWithoutStandbyPool(t *testing.T) {
+	f := newExclusionFixture()
+	f.listFleet()
+	f.workers["w1"].vacating, f.workers["w2"].vacating = true, true
+	config := f.State.Config
+	config.Version++
+	config.Pools = []jobs.Pool{{Name: "p"}, {Name: "other"}}
+	f.Configure(config, f.now)
+	f.submit("a", servingStep)
+	f.advance(maxIdleMillis, "w1", "w2")
+	assert.Equal(t, f.runs("a", "w1")+f.runs("a", "w2"), 2)
+}
+
+// TestUnansweredMoveEndsWithoutStandbyPool guards against a worker that gets no tasks
+// because its move has no answer and a configuration without a standby pool ended all
+// moves.
+func TestUnansweredMoveEndsWithoutStandbyPool(t *testing.T) {
+	f := newExclusionFixture()
+	f.listFleet()
+	w := f.workers["w2"]
+	w.goingDown = true
+	f.orderMove("m-w2", 1, &poolLoad{name: "other"}, f.now)
+	f.HandleOutcome(Action{Kind: ActionMove, Machine: "m-w2", Pool: "other"}, Outcome{Answer: AnswerUnknown}, f.now)
+	config := f.State.Config
+	config.Version++
+	config.Pools = []jobs.Pool{{Name: "p"}, {Name: "other"}}
+	f.Configure(config, f.now)
+	f.advance(moveTimeoutMillis+clock.Second, "w1", "w2")
+	assert.Assert(t, !w.goingDown)
+}
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -77,15 +77,15 @@
 		return
 	}
 	s.fleet.nextRebalance = now + rebalancePeriodMillis
+	s.expireMoves(now)
 	standby := s.standbyPool()
-	if standby == "" || !s.refreshMachineList(now) {
+	if standby == "" {
+		// No machine is moved, so none has to be vacated.
+		s.stopVacating()
 		return
 	}
-	for m, move := range s.fleet.moves {
-		if now-move.orderedAt > moveTimeoutMillis {
-			delete(s.fleet.moves, m)
-			s.updateGoingDown(m)
-		}
+	if !s.refreshMachineList(now) {
+		return
 	}
 	loads := s.updatePoolLoads(now)
 	s.noteLoads(loads, now)
@@ -104,6 +104,26 @@
 	}
 }
 
+// expireMoves ends the moves that have taken too long.
+func (s *Scheduler[P, H]) expireMoves(now clock.Millis) {
+	for m, move := range s.fleet.moves {
+		if now-move.orderedAt > moveTimeoutMillis {
+			delete(s.fleet.moves, m)
+			s.updateGoingDown(m)
+		}
+	}
+}
+
+// stopVacating lets all workers get new tasks that are being vacated.
+func (s *Scheduler[P, H]) stopVacating() {
+	for _, w := range s.workers {
+		if w.vacating {
+			w.vacating = false
+			s.dirtyPools[s.pool(w.pool)] = true
+		}
+	}
+}
+
 // finiteWorkSeen reports whether a job without long-running tasks has been
 // submitted. Idle machines are kept until then; otherwise a newly started fleet
 // would be powered off just before its first load.
