Derive cordons from the machines that come next in the waves

A worker that was cut off while its wave completed stayed cordoned for good: its machine counted as gone, and only the wave would have ended the cordon. Two waves with one machine overwrote each other's decision, so that finite tasks started on a machine that came next in the first wave.

Each wave now holds the machines that come next, and updateCordons, the only writer of the flag, cordons the workers of these machines while the wave is not completed and the machine is not ordered. An ordered machine needs no cordon, because its worker counts as going down.

TestCordonEndsWithWave and TestWavesShareCordon failed before.

--- a/core/state/sched/absence.go
+++ b/core/state/sched/absence.go
@@ -84,10 +84,9 @@
 		return
 	}
 	delete(v.down, m)
+	delete(v.next, m)
 	s.updateGoingDown(m)
-	if w := s.workerByMachine[m]; w != nil {
-		w.cordoned = false
-	}
+	s.updateCordons()
 }
 
 // updateAbsences updates the evidence with a list of machines. listed holds the
--- a/core/state/sched/exclusion.go
+++ b/core/state/sched/exclusion.go
@@ -49,3 +49,32 @@
 	}
 	return false
 }
+
+// updateCordons cordons the workers of the machines that come next in a wave that is
+// not completed, and ends the cordons of all others. An ordered machine is not cordoned:
+// its worker counts as going down, unless it has returned from the maintenance.
+func (s *Scheduler[P, H]) updateCordons() {
+	cordons := map[jobs.MachineID]bool{}
+	for _, v := range s.waves {
+		if v.isComplete() {
+			continue
+		}
+		for m, isNext := range v.next {
+			if _, ordered := v.down[m]; isNext && !ordered && !v.Started[m] {
+				cordons[m] = true
+			}
+		}
+	}
+	for m := range s.cordons {
+		if w := s.workerByMachine[m]; w != nil && !cordons[m] {
+			w.cordoned = false
+			s.dirtyPools[s.pool(w.pool)] = true
+		}
+	}
+	for m := range cordons {
+		if w := s.workerByMachine[m]; w != nil {
+			w.cordoned = true
+		}
+	}
+	s.cordons = cordons
+}
--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -193,3 +193,36 @@
 	f.advance(moveTimeoutMillis+clock.Second, "w1", "w2")
 	assert.Assert(t, !w.goingDown)
 }
+
+// TestCordonEndsWithWave guards against a worker that gets no tasks after its wave has
+// completed, because its machine counted as gone while the worker was cut off.
+func TestCordonEndsWithWave(t *testing.T) {
+	f := newAbsenceFixture()
+	f.list = func() Outcome { return listOf("m-other") }
+	f.heartbeat("w1", 1, nil)
+	f.run(200)
+	assert.Assert(t, f.workers["w1"].cordoned)
+	f.run(30 * clock.Second)
+	assert.Assert(t, f.completed())
+	f.heartbeat("w1", 1, nil)
+	f.submit("a", smallStep)
+	f.run(clock.Second)
+	assert.Equal(t, f.runs("a", "w1"), 1)
+}
+
+// TestWavesShareCordon guards against finite tasks that start on a machine that comes
+// next in one wave, because another wave with the machine has others before it.
+func TestWavesShareCordon(t *testing.T) {
+	f := newExclusionFixture()
+	// The third task has no worker, so neither machine may go down.
+	step := servingStep
+	step.TaskCount = 3
+	f.submit("a", step)
+	f.advance(clock.Second, "w1", "w2")
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	f.DeclareWave(jobs.Wave{Number: 2, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	assert.Equal(t, len(f.advance(clock.Second, "w1", "w2")), 0)
+	f.submit("late", smallStep)
+	f.advance(clock.Second, "w1", "w2")
+	assert.Equal(t, f.runs("late", "w1")+f.runs("late", "w2"), 0)
+}
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -43,6 +43,8 @@
 	// termStart is when this process became leader.
 	termStart clock.Millis
 	waves     map[int]*wave
+	// cordons holds the machines whose workers are cordoned.
+	cordons map[jobs.MachineID]bool
 	// absences holds the machines of waves that may no longer exist.
 	absences map[jobs.MachineID]*absence
 	fleet    machineFleet
@@ -119,9 +121,10 @@
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
-	// soon, but for long-running ones that no other worker takes. goingDown is set while a maintenance or a move of the machine that was
-	// ordered for this incarnation is open; the worker's tasks count as unavailable
-	// then. Only updateGoingDown changes it.
+	// soon, but for long-running ones that no other worker takes. Only updateCordons
+	// changes it. goingDown is set while a maintenance or a move of the machine that
+	// was ordered for this incarnation is open; the worker's tasks count as
+	// unavailable then. Only updateGoingDown changes it.
 	cordoned  bool
 	goingDown bool
 	// failedJobsInRow is the number of failures on this worker since the last
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -27,6 +27,8 @@
 	// down holds the machines whose maintenance was ordered and that are not
 	// known to be back.
 	down map[jobs.MachineID]downtime
+	// next holds the machines that come next, from which new tasks are kept off.
+	next map[jobs.MachineID]bool
 	// nextOrder holds the earliest time at which the order for a machine may be
 	// repeated.
 	nextOrder map[jobs.MachineID]clock.Millis
@@ -74,7 +76,7 @@
 
 func newWave(w *jobs.Wave) *wave {
 	v := &wave{
-		Wave: w, down: map[jobs.MachineID]downtime{}, nextOrder: map[jobs.MachineID]clock.Millis{},
+		Wave: w, down: map[jobs.MachineID]downtime{}, next: map[jobs.MachineID]bool{}, nextOrder: map[jobs.MachineID]clock.Millis{},
 		pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
 	}
 	// Machines whose maintenance an earlier leader ordered may be down now.
@@ -115,6 +117,7 @@
 		s.endAbsences(v, now)
 		s.advanceWave(v, now)
 	}
+	s.updateCordons()
 }
 
 // clearReturned ends the downtime of machines whose worker has returned from
@@ -135,23 +138,10 @@
 		if returned || now >= max(down.since, s.termStart)+longest {
 			delete(v.down, m)
 			s.updateGoingDown(m)
-			if v.Started[m] {
-				s.uncordon(w)
-			}
 		}
 	}
 }
 
-// uncordon lets a worker get tasks again after its maintenance, unless another wave
-// has ordered the maintenance of its machine. A repeated order cordons the worker that
-// has already returned. w may be nil.
-func (s *Scheduler[P, H]) uncordon(w *worker) {
-	if w != nil && w.cordoned && !w.goingDown {
-		w.cordoned = false
-		s.dirtyPools[s.pool(w.pool)] = true
-	}
-}
-
 // advanceWave orders the maintenance of machines of a wave and keeps new tasks
 // off the machines that come next. At most MaxDown machines are down at a time,
 // and no more than the deadline requires. Machines of pools without waiting
@@ -169,11 +159,13 @@
 		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
 	})
 	toOrder, toCordon := parallel-len(v.down), parallel
+	next := map[jobs.MachineID]bool{}
 	for _, m := range remaining {
 		w := s.workerByMachine[m]
 		_, isDown := v.down[m]
 		switch {
 		case v.nextOrder[m] > now || s.beingMoved(m, now):
+			next[m] = v.next[m]
 		case isDown && len(v.down) > v.MaxDown:
 			// An earlier leader gave orders for more than MaxDown machines,
 			// because some orders were refused. It is unknown which of the
@@ -189,15 +181,14 @@
 			}
 		case toOrder > 0 && s.mayGoDown(w, behind):
 			toOrder--
+			next[m] = true
 			s.orderMaintenance(v, m, w, now)
 		case w != nil && toCordon > 0:
 			toCordon--
-			w.cordoned = true
-		case w != nil && w.cordoned:
-			w.cordoned = false
-			s.dirtyPools[s.pool(w.pool)] = true
+			next[m] = true
 		}
 	}
+	v.next = next
 }
 
 // deadlineMarginMillis is how long before its deadline a wave should be
@@ -338,7 +329,6 @@
 	down := downtime{since: now, earliestReturn: s.earliestReturn(now)}
 	if w != nil {
 		down.incarnation, down.orderedFor = w.incarnation, w.incarnation
-		w.cordoned = true
 	}
 	if previous, ok := v.down[m]; ok {
 		down.since = previous.since
@@ -443,6 +433,7 @@
 		if !v.repeated[action.Machine] {
 			delete(v.down, action.Machine)
 			s.updateGoingDown(action.Machine)
+			s.updateCordons()
 		}
 		v.nextOrder[action.Machine] = now + maintenanceRetryMillis
 	case AnswerUnknown:
