--- a/core/state/sched/exclusion_simulation_test.go
+++ b/core/state/sched/exclusion_simulation_test.go
@@ -24,6 +24,7 @@
 	poolCalmMillis                 = 12 * clock.Second
 	poolMillis                     = 70 * clock.Second
 	poolStartupMillis clock.Millis = 300
+	poolNoticeMillis  clock.Millis = 4500
 	poolSteps                      = 5
 )
 
@@ -73,13 +74,18 @@
 	// idleSince is when each long-running task last ran, and fullSince when no machine
 	// last had room for it.
 	idleSince, fullSince map[jobs.TaskID]clock.Millis
-	err                  error
+	// servingAt is when each long-running task was last at work, and ordered holds those
+	// that were ended by an order and have not been at work since.
+	servingAt map[jobs.TaskID]clock.Millis
+	ordered   map[jobs.TaskID]bool
+	err       error
 }
 
 func newPoolSimulation(seed uint64) *poolSimulation {
 	sim := &poolSimulation{
 		rand: rand.New(rand.NewPCG(seed, 3)), now: 100_000, committed: jobs.New(),
 		idleSince: map[jobs.TaskID]clock.Millis{}, fullSince: map[jobs.TaskID]clock.Millis{},
+		servingAt: map[jobs.TaskID]clock.Millis{}, ordered: map[jobs.TaskID]bool{},
 	}
 	sim.finiteMillis = []clock.Millis{800, 1700, 17_000}[sim.rand.IntN(3)]
 	sim.elect()
@@ -320,6 +326,10 @@
 			o.answer = AnswerRefusedForNow
 		}
 	default:
+		sim.checkAvailability(machine)
+		for t := range machine.runs {
+			sim.ordered[t] = true
+		}
 		machine.maintained[number], machine.maintaining, machine.awayUntil = true, number, sim.now+Defaults().MaintenanceMillis
 		clear(machine.runs)
 		if down >= sim.committed.Waves[number].MaxDown {
@@ -328,6 +338,28 @@
 	}
 }
 
+// checkAvailability checks that no more than MaxUnavailable tasks of a step are away
+// once a machine goes down. A task is away if an order has ended it, until it is at work
+// again, or if it has not been at work for poolNoticeMillis. In periods with faults, an
+// order may be carried out late.
+func (sim *poolSimulation) checkAvailability(m *poolMachine) {
+	for t, r := range m.runs {
+		if !sim.atWork(t, r) || sim.now < sim.calmSince+simOrderMillis {
+			continue
+		}
+		away := 0
+		for index := range poolSteps {
+			other := jobs.TaskID{Job: t.Job, Index: index}
+			if other != t && (sim.ordered[other] || sim.now-sim.servingAt[other] >= poolNoticeMillis) {
+				away++
+			}
+		}
+		if away >= sim.committed.Jobs[t.Job].Steps[t.Step].MaxUnavailable {
+			sim.failf("%s ends %v while %d others of its step are away", m.id, t, away)
+		}
+	}
+}
+
 // hasRoom reports whether a machine is up and has room for a task.
 func (sim *poolSimulation) hasRoom(m *poolMachine, t jobs.TaskID) bool {
 	free := jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000}
@@ -345,8 +377,12 @@
 func (sim *poolSimulation) checkIdle() {
 	running := map[jobs.TaskID]bool{}
 	for _, m := range sim.machines {
-		for t := range m.runs {
+		for t, r := range m.runs {
 			running[t] = true
+			if sim.atWork(t, r) {
+				sim.servingAt[t] = sim.now
+				delete(sim.ordered, t)
+			}
 		}
 	}
 	for id, rec := range sim.committed.Jobs {
@@ -385,7 +421,8 @@
 }
 
 // TestSimulatedPool runs seeded random pools. It guards against a long-running task
-// that waits while a machine has room for it, more than MaxDown machines that are down
+// that waits while a machine has room for it, more than MaxUnavailable tasks of a step that are
+// away because of an order, more than MaxDown machines that are down
 // for a wave, a worker that counts as going down without an open order, and a wave that
 // never completes.
 func TestSimulatedPool(t *testing.T) {
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -237,8 +237,9 @@
 
 // mayGoDown reports whether the machine of a worker may go down now. It may if
 // all tasks except long-running ones have ended or may be ended, and if no step
-// would exceed its MaxUnavailable. If a step would exceed it only because several
-// of its tasks are on the machine, mayGoDown stops one of them.
+// would exceed its MaxUnavailable. A starting task may be at work since the worker's
+// latest heartbeat, so it counts like a serving one. If a step would exceed it only
+// because several of its tasks are on the machine, mayGoDown stops one of them.
 func (s *Scheduler[P, H]) mayGoDown(w *worker, finiteMayEnd bool) bool {
 	if w == nil {
 		return true
@@ -251,7 +252,7 @@
 			if !finiteMayEnd {
 				return false
 			}
-		case r.step.MaxUnavailable > 0 && r.serving():
+		case r.step.MaxUnavailable > 0 && !r.stopping:
 			k := stepKeyOf(t)
 			ending[k]++
 			records[k] = r.rec
@@ -262,11 +263,7 @@
 		if rec.Status.Final() {
 			continue
 		}
-		unavailable := s.unavailable(rec, k)
-		if w.goingDown {
-			// An earlier order for the machine already counts its tasks.
-			unavailable -= n
-		}
+		unavailable := s.unavailable(rec, k) - s.unavailableOn(w, k)
 		if unavailable+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
@@ -293,6 +290,17 @@
 // serving reports whether a long-running task serves its users.
 func (r *run) serving() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
+// unavailableOn returns how many of the tasks that unavailable counts are on a worker.
+func (s *Scheduler[P, H]) unavailableOn(w *worker, k stepKey) int {
+	n := 0
+	for t, r := range w.runs {
+		if stepKeyOf(t) == k && (w.goingDown || !r.serving()) {
+			n++
+		}
+	}
+	return n
+}
+
 // unavailable returns the number of tasks of a long-running step that are not
 // serving.
 func (s *Scheduler[P, H]) unavailable(rec *jobs.Record, k stepKey) int {
--- a/core/state/sched/wave_availability_test.go
+++ b/core/state/sched/wave_availability_test.go
@@ -92,3 +92,20 @@
 	f.heartbeatServing("w3", 100)
 	assert.Equal(t, len(drain()), 1)
 }
+
+// TestStartingTaskKeepsAvailability guards against ending a task that is at work by now,
+// although its worker's latest heartbeat said that it starts, while another task of its
+// step is missing.
+func TestStartingTaskKeepsAvailability(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
+	f.heartbeatServing("w1", 100)
+	f.heartbeatServing("w2", 50)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 5000}, f.now)
+	// The third task has no worker.
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+}
