Count the tasks of a silent worker that may be down as unavailable

An order of an earlier leader may be carried out late. The new leader gets no answer to it, and until the lease of the ended worker expired, its tasks counted as serving: another machine of the step could be ordered down.

The tasks of a worker that has sent no heartbeat for liveMillis count as unavailable while an order for its machine may have been carried out.

--- a/core/state/sched/exclusion.go
+++ b/core/state/sched/exclusion.go
@@ -78,3 +78,9 @@
 	}
 	s.cordons = cordons
 }
+
+// maySilentlyBeDown reports whether a worker has sent no heartbeat for liveMillis while
+// an order for its machine, such as one of an earlier leader, may have been carried out.
+func (s *Scheduler[P, H]) maySilentlyBeDown(w *worker) bool {
+	return s.now-w.heardAt > liveMillis && s.mayBeDown(w.machine)
+}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -294,7 +294,7 @@
 func (s *Scheduler[P, H]) unavailableOn(w *worker, k stepKey) int {
 	n := 0
 	for t, r := range w.runs {
-		if stepKeyOf(t) == k && (w.goingDown || !r.serving()) {
+		if stepKeyOf(t) == k && (w.goingDown || s.maySilentlyBeDown(w) || !r.serving()) {
 			n++
 		}
 	}
@@ -307,7 +307,7 @@
 	n := 0
 	for i, t := range rec.Occurrences[k.occurrence].Steps[k.step].Tasks {
 		w := s.workers[t.Worker]
-		if t.Phase != jobs.PhaseAssigned || w == nil || w.goingDown {
+		if t.Phase != jobs.PhaseAssigned || w == nil || w.goingDown || s.maySilentlyBeDown(w) {
 			n++
 			continue
 		}
--- a/core/state/sched/wave_availability_test.go
+++ b/core/state/sched/wave_availability_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/place"
 )
@@ -109,3 +110,20 @@
 	// The third task has no worker.
 	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
 }
+
+// TestNewLeaderCountsSilentWorker guards against ending two tasks of a step because the
+// order of an earlier leader is carried out late: the worker that it ended is silent, and
+// its lease has not expired.
+func TestNewLeaderCountsSilentWorker(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.DeclareWave(jobs.Wave{Number: 2, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 5000}, f.now)
+	assert.Equal(t, len(f.advance(200, "w1", "w2")), 1)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 5000}, f.now)
+	f.Pass(f.now)
+	next := &fixture{testScheduler: New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now), now: f.now, seq: f.seq}
+	next.advance(clock.Second, "w1", "w2")
+	next.advance(f.settings.TakeoverDelayMillis-clock.Second-200, "w2")
+	for _, order := range next.advance(clock.Second, "w2") {
+		assert.Assert(t, order.Machine != "m-w2")
+	}
+}
