Count a stopping task, and stop none beside a starting one

The tasks of a step that are on the machine itself were subtracted from the unavailable ones also while being stopped, so that the machine went down before they had started elsewhere. And one of two tasks on a machine was stopped while the other was starting.

TestSharedMachineKeepsAvailability failed before in both parts.

--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -263,8 +263,8 @@
 		if rec.Status.Final() {
 			continue
 		}
-		unavailable := s.unavailable(rec, k) - s.unavailableOn(w, k)
-		if unavailable+n <= rec.Steps[k.step].MaxUnavailable {
+		unavailable := s.unavailable(rec, k)
+		if unavailable-s.unavailableOn(w, k)+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
 		if unavailable == 0 && n > 1 {
@@ -290,11 +290,12 @@
 // serving reports whether a long-running task serves its users.
 func (r *run) serving() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
-// unavailableOn returns how many of the tasks that unavailable counts are on a worker.
+// unavailableOn returns how many of the tasks that unavailable counts are on a worker and
+// are not being stopped.
 func (s *Scheduler[P, H]) unavailableOn(w *worker, k stepKey) int {
 	n := 0
 	for t, r := range w.runs {
-		if stepKeyOf(t) == k && (w.goingDown || s.maySilentlyBeDown(w) || !r.serving()) {
+		if stepKeyOf(t) == k && !r.stopping && (w.goingDown || s.maySilentlyBeDown(w) || !r.serving()) {
 			n++
 		}
 	}
--- a/core/state/sched/wave_availability_test.go
+++ b/core/state/sched/wave_availability_test.go
@@ -127,3 +127,24 @@
 		assert.Assert(t, order.Machine != "m-w2")
 	}
 }
+
+// TestSharedMachineKeepsAvailability guards against ending one of the two tasks of a step
+// on a machine while the other one is starting, and against a machine that goes down while
+// one of them is being stopped and has not started elsewhere.
+func TestSharedMachineKeepsAvailability(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1})
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 5000}, f.now)
+	tasks := sortedTaskIDs(f.workers["w1"].runs)
+	f.heartbeat("w1", 1, []RunStatus{{Task: tasks[0], Run: 1, Percent: 100}, {Task: tasks[1], Run: 1, Percent: 50}})
+	plan := f.Pass(f.now)
+	assert.Equal(t, len(ordersFor(plan, "w1").Stops)+len(actionsOf(plan, ActionMaintain)), 0)
+	f.now += waveCheckPeriodMillis
+	f.heartbeatServing("w1", 100)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Stops), 1)
+	f.now += waveCheckPeriodMillis
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+}
