--- /dev/null
+++ b/core/state/sched/exclusion.go
@@ -0,0 +1,86 @@
+package sched
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// acceptsGroup reports whether a worker accepts new tasks of a group and has the
+// label that the group requires.
+func (s *Scheduler[P, H]) acceptsGroup(w *worker, g *taskGroup, now clock.Millis) bool {
+	if w.draining || w.goingDown || w.vacating || w.quarantinedUntil > now || w.cordonedFor(g, now) {
+		return false
+	}
+	return w.hasLabel(g)
+}
+
+// cordonedFor reports whether a cordon keeps the tasks of a group off the worker. It
+// yields to a long-running task that no other worker has taken. Such a task may be the
+// one that keeps another machine from its maintenance, and it would wait for as long as
+// something keeps the cordoned machine up.
+func (w *worker) cordonedFor(g *taskGroup, now clock.Millis) bool {
+	return w.cordoned && !(g.step.LongRunning && now-g.waitingSince > unplacedWaitMillis)
+}
+
+// updateGoingDown updates goingDown of a machine's worker. It is called whenever a
+// downtime or a move of the machine begins or ends.
+func (s *Scheduler[P, H]) updateGoingDown(m jobs.MachineID) {
+	w := s.workerByMachine[m]
+	if w == nil {
+		return
+	}
+	wasGoingDown := w.goingDown
+	w.goingDown = s.hasOpenOrder(w)
+	if wasGoingDown && !w.goingDown {
+		s.dirtyPools[s.pool(w.pool)] = true
+	}
+}
+
+// hasOpenOrder reports whether a maintenance or a move of the worker's machine is open
+// that was ordered for this incarnation of the worker.
+func (s *Scheduler[P, H]) hasOpenOrder(w *worker) bool {
+	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation == w.incarnation {
+		return true
+	}
+	for _, v := range s.waves {
+		if down, ok := v.down[w.machine]; ok && down.orderedFor == w.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// updateCordons cordons the workers of the machines that come next in a wave that is
+// not completed, and ends the cordons of all others. An ordered machine is not cordoned:
+// its worker counts as going down, unless it has returned from the maintenance.
+func (s *Scheduler[P, H]) updateCordons() {
+	cordons := map[jobs.MachineID]bool{}
+	for _, v := range s.waves {
+		if v.isComplete() {
+			continue
+		}
+		for m, isNext := range v.next {
+			if _, ordered := v.down[m]; isNext && !ordered && !v.Started[m] {
+				cordons[m] = true
+			}
+		}
+	}
+	for m := range s.cordons {
+		if w := s.workerByMachine[m]; w != nil && !cordons[m] {
+			w.cordoned = false
+			s.dirtyPools[s.pool(w.pool)] = true
+		}
+	}
+	for m := range cordons {
+		if w := s.workerByMachine[m]; w != nil {
+			w.cordoned = true
+		}
+	}
+	s.cordons = cordons
+}
+
+// maySilentlyBeDown reports whether a worker has sent no heartbeat for liveMillis while
+// an order for its machine, such as one of an earlier leader, may have been carried out.
+func (s *Scheduler[P, H]) maySilentlyBeDown(w *worker) bool {
+	return s.now-w.heardAt > liveMillis && s.mayBeDown(w.machine)
+}
--- /dev/null
+++ b/core/state/sched/exclusion_test.go
@@ -0,0 +1,228 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// maxIdleMillis is the longest time that a long-running task may wait while a worker
+// has room for it.
+const maxIdleMillis = 6 * clock.Second
+
+// servingStep is a long-running step whose two tasks run on different workers. One of
+// them may be unavailable.
+var servingStep = jobs.Step{
+	TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1,
+}
+
+// heartbeatOf sends a heartbeat of a worker of pool p whose long-running tasks serve
+// and whose finite tasks are half done. The runs of the given jobs have failed.
+func (f *fixture) heartbeatOf(id string, failed ...jobs.ID) {
+	w := f.workers[jobs.WorkerID(id)]
+	var running []RunStatus
+	var ends []RunEnd
+	for _, task := range sortedTaskIDs(w.runs) {
+		r := w.runs[task]
+		switch {
+		case slices.Contains(failed, task.Job):
+			ends = append(ends, RunEnd{Number: int64(len(ends) + 1), Task: task, Run: r.number, Result: jobs.ResultFailed})
+		case r.step.LongRunning:
+			running = append(running, RunStatus{Task: task, Run: r.number, Percent: 100})
+		default:
+			running = append(running, RunStatus{Task: task, Run: r.number, Percent: 50})
+		}
+	}
+	f.heartbeat(id, w.incarnation, running, ends...)
+}
+
+// runs returns the number of tasks of a job that are assigned to a worker.
+func (f *fixture) runs(job jobs.ID, id string) int {
+	n := 0
+	for task := range f.workers[jobs.WorkerID(id)].runs {
+		if task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// advance passes the given time, with heartbeats of the workers. It returns the
+// maintenance orders, which the platform does not answer.
+func (f *fixture) advance(d clock.Millis, ids ...string) []Action {
+	var orders []Action
+	for end := f.now + d; f.now < end; {
+		f.now += 200
+		for _, id := range ids {
+			f.heartbeatOf(id)
+		}
+		orders = append(orders, actionsOf(f.Pass(f.now), ActionMaintain)...)
+	}
+	return orders
+}
+
+// newExclusionFixture returns a fixture with workers w1 and w2 on which the tasks of
+// the given jobs, two of each, serve.
+func newExclusionFixture(ids ...jobs.ID) *fixture {
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	for _, id := range ids {
+		f.submit(string(id), servingStep)
+	}
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	f.advance(clock.Second, "w1", "w2")
+	return f
+}
+
+// TestCordonsDoNotBlockEachOther guards against two cordoned machines each of which is
+// the only one with room for the missing task of a step that keeps the other one up.
+func TestCordonsDoNotBlockEachOther(t *testing.T) {
+	f := newExclusionFixture("a", "b")
+	f.now += waveCheckPeriodMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 4000}, f.now)
+	f.heartbeatOf("w1", "b")
+	f.heartbeatOf("w2", "a")
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+	f.advance(maxIdleMillis, "w1", "w2")
+	assert.Equal(t, f.runs("a", "w2"), 1)
+	assert.Equal(t, f.runs("b", "w1"), 1)
+}
+
+// TestCordonYieldsWhileFiniteTasksRun guards against a long-running task that waits for
+// as long as finite tasks keep the only machine with room for it from its maintenance.
+func TestCordonYieldsWhileFiniteTasksRun(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.submit("finite", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 10_000, MemoryMiB: 100}, Estimate: 20_000})
+	f.heartbeatOf("w1")
+	f.heartbeatOf("w2")
+	f.Pass(f.now)
+	assert.Equal(t, f.runs("finite", "w2"), 1)
+	f.now += waveCheckPeriodMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	f.heartbeatOf("w1")
+	f.heartbeatOf("w2", "a")
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+	f.advance(maxIdleMillis, "w1", "w2")
+	assert.Equal(t, f.runs("a", "w2"), 1)
+}
+
+// TestRefusedRepeatFreesReturnedWorker guards against a worker that gets no tasks after
+// it returned from its maintenance, because a repeated order was refused after that.
+func TestRefusedRepeatFreesReturnedWorker(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	order := f.advance(200, "w1", "w2")[0]
+	f.HandleOutcome(order, Outcome{Answer: AnswerUnknown}, f.now)
+	// The first order is carried out, and the repeated ones are refused.
+	f.now += 2 * clock.Second
+	f.heartbeatOf("w1")
+	f.HandleOutcome(actionsOf(f.Pass(f.now), ActionMaintain)[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
+	f.heartbeat("w2", 2, nil)
+	f.Pass(f.now)
+	assert.Equal(t, f.runs("a", "w2"), 1)
+	f.now += maintenanceRetryMillis
+	f.heartbeatOf("w1")
+	f.heartbeatOf("w2")
+	f.HandleOutcome(actionsOf(f.Pass(f.now), ActionMaintain)[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
+	// Without w1 a task is missing, so the order is not repeated again.
+	f.RemoveWorker("w1", 1, f.now)
+	f.submit("b", servingStep)
+	assert.Equal(t, len(f.advance(maxIdleMillis, "w2")), 0)
+	assert.Equal(t, f.runs("b", "w2"), 1)
+}
+
+// TestMoveTimeoutKeepsOrderInFlight guards against tasks that start on a machine whose
+// maintenance is ordered, and against counting its tasks as available, because a move of
+// the machine that was ordered before has timed out.
+func TestMoveTimeoutKeepsOrderInFlight(t *testing.T) {
+	f := newExclusionFixture()
+	w := f.workers["w2"]
+	w.goingDown = true
+	f.orderMove("m-w2", 1, &poolLoad{name: "other"}, f.now)
+	f.listFleet()
+	f.fleet.nextRebalance = f.now + moveTimeoutMillis + 150
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 30_000}, f.now)
+	f.now += moveTimeoutMillis + 100
+	f.heartbeatOf("w2")
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 1)
+	f.now += 100
+	f.Pass(f.now)
+	assert.Assert(t, w.goingDown)
+}
+
+// listFleet answers the request for the list of machines.
+func (f *fixture) listFleet() {
+	f.HandleOutcome(Action{Kind: ActionListMachines, RequestedAt: f.fleet.listRequestedAt}, listOf("m-w1", "m-w2"), f.now)
+}
+
+// TestVacatingEndsWithoutStandbyPool guards against a worker that gets no tasks because
+// it was being vacated when a configuration without a standby pool ended all moves.
+func TestVacatingEndsWithoutStandbyPool(t *testing.T) {
+	f := newExclusionFixture()
+	f.listFleet()
+	f.workers["w1"].vacating, f.workers["w2"].vacating = true, true
+	config := f.State.Config
+	config.Version++
+	config.Pools = []jobs.Pool{{Name: "p"}, {Name: "other"}}
+	f.Configure(config, f.now)
+	f.submit("a", servingStep)
+	f.advance(maxIdleMillis, "w1", "w2")
+	assert.Equal(t, f.runs("a", "w1")+f.runs("a", "w2"), 2)
+}
+
+// TestUnansweredMoveEndsWithoutStandbyPool guards against a worker that gets no tasks
+// because its move has no answer and a configuration without a standby pool ended all
+// moves.
+func TestUnansweredMoveEndsWithoutStandbyPool(t *testing.T) {
+	f := newExclusionFixture()
+	f.listFleet()
+	w := f.workers["w2"]
+	w.goingDown = true
+	f.orderMove("m-w2", 1, &poolLoad{name: "other"}, f.now)
+	f.HandleOutcome(Action{Kind: ActionMove, Machine: "m-w2", Pool: "other"}, Outcome{Answer: AnswerUnknown}, f.now)
+	config := f.State.Config
+	config.Version++
+	config.Pools = []jobs.Pool{{Name: "p"}, {Name: "other"}}
+	f.Configure(config, f.now)
+	f.advance(moveTimeoutMillis+clock.Second, "w1", "w2")
+	assert.Assert(t, !w.goingDown)
+}
+
+// TestCordonEndsWithWave guards against a worker that gets no tasks after its wave has
+// completed, because its machine counted as gone while the worker was cut off.
+func TestCordonEndsWithWave(t *testing.T) {
+	f := newAbsenceFixture()
+	f.list = func() Outcome { return listOf("m-other") }
+	f.heartbeat("w1", 1, nil)
+	f.run(200)
+	assert.Assert(t, f.workers["w1"].cordoned)
+	f.run(30 * clock.Second)
+	assert.Assert(t, f.completed())
+	f.heartbeat("w1", 1, nil)
+	f.submit("a", smallStep)
+	f.run(clock.Second)
+	assert.Equal(t, f.runs("a", "w1"), 1)
+}
+
+// TestWavesShareCordon guards against finite tasks that start on a machine that comes
+// next in one wave, because another wave with the machine has others before it.
+func TestWavesShareCordon(t *testing.T) {
+	f := newExclusionFixture()
+	// The third task has no worker, so neither machine may go down.
+	step := servingStep
+	step.TaskCount = 3
+	f.submit("a", step)
+	f.advance(clock.Second, "w1", "w2")
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	f.DeclareWave(jobs.Wave{Number: 2, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	assert.Equal(t, len(f.advance(clock.Second, "w1", "w2")), 0)
+	f.submit("late", smallStep)
+	f.advance(clock.Second, "w1", "w2")
+	assert.Equal(t, f.runs("late", "w1")+f.runs("late", "w2"), 0)
+}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -27,6 +27,8 @@
 	// down holds the machines whose maintenance was ordered and that are not
 	// known to be back.
 	down map[jobs.MachineID]downtime
+	// next holds the machines that come next, from which new tasks are kept off.
+	next map[jobs.MachineID]bool
 	// nextOrder holds the earliest time at which the order for a machine may be
 	// repeated.
 	nextOrder map[jobs.MachineID]clock.Millis
@@ -58,6 +60,9 @@
 	// maintenance was ordered or, later, when the order was answered; 0 for
 	// none or unknown.
 	incarnation jobs.Incarnation
+	// orderedFor is the incarnation of the worker that the latest order of this
+	// term would end; 0 for none.
+	orderedFor jobs.Incarnation
 	// earliestReturn is the time from which a heartbeat of another incarnation
 	// shows that the machine is back.
 	earliestReturn clock.Millis
@@ -71,7 +76,7 @@
 
 func newWave(w *jobs.Wave) *wave {
 	v := &wave{
-		Wave: w, down: map[jobs.MachineID]downtime{}, nextOrder: map[jobs.MachineID]clock.Millis{},
+		Wave: w, down: map[jobs.MachineID]downtime{}, next: map[jobs.MachineID]bool{}, nextOrder: map[jobs.MachineID]clock.Millis{},
 		pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
 	}
 	// Machines whose maintenance an earlier leader ordered may be down now.
@@ -112,6 +117,7 @@
 		s.endAbsences(v, now)
 		s.advanceWave(v, now)
 	}
+	s.updateCordons()
 }
 
 // clearReturned ends the downtime of machines whose worker has returned from
@@ -131,34 +137,11 @@
 		}
 		if returned || now >= max(down.since, s.termStart)+longest {
 			delete(v.down, m)
-			s.clearGoingDown(w, down.incarnation)
-			if v.Started[m] {
-				s.uncordon(w)
-			}
+			s.updateGoingDown(m)
 		}
 	}
 }
 
-// uncordon lets a worker get tasks again after its maintenance, unless another wave
-// has ordered the maintenance of its machine. A repeated order cordons the worker that
-// has already returned. w may be nil.
-func (s *Scheduler[P, H]) uncordon(w *worker) {
-	if w != nil && w.cordoned && !w.goingDown {
-		w.cordoned = false
-		s.dirtyPools[s.pool(w.pool)] = true
-	}
-}
-
-// clearGoingDown is called when the time for the maintenance or move of a
-// machine is over. If its worker is still the given incarnation, the order was
-// not carried out, and the worker may get new tasks again. w may be nil.
-func (s *Scheduler[P, H]) clearGoingDown(w *worker, incarnation jobs.Incarnation) {
-	if w != nil && w.incarnation == incarnation && w.goingDown {
-		w.goingDown = false
-		s.dirtyPools[s.pool(w.pool)] = true
-	}
-}
-
 // advanceWave orders the maintenance of machines of a wave and keeps new tasks
 // off the machines that come next. At most MaxDown machines are down at a time,
 // and no more than the deadline requires. Machines of pools without waiting
@@ -176,11 +159,13 @@
 		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
 	})
 	toOrder, toCordon := parallel-len(v.down), parallel
+	next := map[jobs.MachineID]bool{}
 	for _, m := range remaining {
 		w := s.workerByMachine[m]
 		_, isDown := v.down[m]
 		switch {
 		case v.nextOrder[m] > now || s.beingMoved(m, now):
+			next[m] = v.next[m]
 		case isDown && len(v.down) > v.MaxDown:
 			// An earlier leader gave orders for more than MaxDown machines,
 			// because some orders were refused. It is unknown which of the
@@ -196,15 +181,14 @@
 			}
 		case toOrder > 0 && s.mayGoDown(w, behind):
 			toOrder--
+			next[m] = true
 			s.orderMaintenance(v, m, w, now)
 		case w != nil && toCordon > 0:
 			toCordon--
-			w.cordoned = true
-		case w != nil && w.cordoned:
-			w.cordoned = false
-			s.dirtyPools[s.pool(w.pool)] = true
+			next[m] = true
 		}
 	}
+	v.next = next
 }
 
 // deadlineMarginMillis is how long before its deadline a wave should be
@@ -253,8 +237,9 @@
 
 // mayGoDown reports whether the machine of a worker may go down now. It may if
 // all tasks except long-running ones have ended or may be ended, and if no step
-// would exceed its MaxUnavailable. If a step would exceed it only because several
-// of its tasks are on the machine, mayGoDown stops one of them.
+// would exceed its MaxUnavailable. A starting task may be at work since the worker's
+// latest heartbeat, so it counts like a serving one. If a step would exceed it only
+// because several of its tasks are on the machine, mayGoDown stops one of them.
 func (s *Scheduler[P, H]) mayGoDown(w *worker, finiteMayEnd bool) bool {
 	if w == nil {
 		return true
@@ -267,7 +252,7 @@
 			if !finiteMayEnd {
 				return false
 			}
-		case r.step.MaxUnavailable > 0 && r.serving():
+		case r.step.MaxUnavailable > 0 && !r.stopping:
 			k := stepKeyOf(t)
 			ending[k]++
 			records[k] = r.rec
@@ -279,11 +264,7 @@
 			continue
 		}
 		unavailable := s.unavailable(rec, k)
-		if w.goingDown {
-			// An earlier order for the machine already counts its tasks.
-			unavailable -= n
-		}
-		if unavailable+n <= rec.Steps[k.step].MaxUnavailable {
+		if unavailable-s.unavailableOn(w, k)+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
 		if unavailable == 0 && n > 1 {
@@ -309,13 +290,25 @@
 // serving reports whether a long-running task serves its users.
 func (r *run) serving() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
+// unavailableOn returns how many of the tasks that unavailable counts are on a worker and
+// are not being stopped.
+func (s *Scheduler[P, H]) unavailableOn(w *worker, k stepKey) int {
+	n := 0
+	for t, r := range w.runs {
+		if stepKeyOf(t) == k && !r.stopping && (w.goingDown || s.maySilentlyBeDown(w) || !r.serving()) {
+			n++
+		}
+	}
+	return n
+}
+
 // unavailable returns the number of tasks of a long-running step that are not
 // serving.
 func (s *Scheduler[P, H]) unavailable(rec *jobs.Record, k stepKey) int {
 	n := 0
 	for i, t := range rec.Occurrences[k.occurrence].Steps[k.step].Tasks {
 		w := s.workers[t.Worker]
-		if t.Phase != jobs.PhaseAssigned || w == nil || w.goingDown {
+		if t.Phase != jobs.PhaseAssigned || w == nil || w.goingDown || s.maySilentlyBeDown(w) {
 			n++
 			continue
 		}
@@ -344,8 +337,7 @@
 	}
 	down := downtime{since: now, earliestReturn: s.earliestReturn(now)}
 	if w != nil {
-		down.incarnation = w.incarnation
-		w.cordoned, w.goingDown = true, true
+		down.incarnation, down.orderedFor = w.incarnation, w.incarnation
 	}
 	if previous, ok := v.down[m]; ok {
 		down.since = previous.since
@@ -354,6 +346,7 @@
 		}
 	}
 	v.down[m] = down
+	s.updateGoingDown(m)
 	s.noteMaintenanceOrder(v, m, w)
 	v.pending[m] = true
 	v.nextOrder[m] = now + maintenanceRetryMillis
@@ -448,9 +441,8 @@
 		// out.
 		if !v.repeated[action.Machine] {
 			delete(v.down, action.Machine)
-			if w := s.workerByMachine[action.Machine]; w != nil {
-				w.goingDown = false
-			}
+			s.updateGoingDown(action.Machine)
+			s.updateCordons()
 		}
 		v.nextOrder[action.Machine] = now + maintenanceRetryMillis
 	case AnswerUnknown:
--- a/core/state/sched/wave_availability_test.go
+++ b/core/state/sched/wave_availability_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/place"
 )
@@ -92,3 +93,58 @@
 	f.heartbeatServing("w3", 100)
 	assert.Equal(t, len(drain()), 1)
 }
+
+// TestStartingTaskKeepsAvailability guards against ending a task that is at work by now,
+// although its worker's latest heartbeat said that it starts, while another task of its
+// step is missing.
+func TestStartingTaskKeepsAvailability(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
+	f.heartbeatServing("w1", 100)
+	f.heartbeatServing("w2", 50)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 5000}, f.now)
+	// The third task has no worker.
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+}
+
+// TestNewLeaderCountsSilentWorker guards against ending two tasks of a step because the
+// order of an earlier leader is carried out late: the worker that it ended is silent, and
+// its lease has not expired.
+func TestNewLeaderCountsSilentWorker(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.DeclareWave(jobs.Wave{Number: 2, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 5000}, f.now)
+	assert.Equal(t, len(f.advance(200, "w1", "w2")), 1)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w2"}, MaxDown: 1, Deadline: 5000}, f.now)
+	f.Pass(f.now)
+	next := &fixture{testScheduler: New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now), now: f.now, seq: f.seq}
+	next.advance(clock.Second, "w1", "w2")
+	next.advance(f.settings.TakeoverDelayMillis-clock.Second-200, "w2")
+	for _, order := range next.advance(clock.Second, "w2") {
+		assert.Assert(t, order.Machine != "m-w2")
+	}
+}
+
+// TestSharedMachineKeepsAvailability guards against ending one of the two tasks of a step
+// on a machine while the other one is starting, and against a machine that goes down while
+// one of them is being stopped and has not started elsewhere.
+func TestSharedMachineKeepsAvailability(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1})
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 5000}, f.now)
+	tasks := sortedTaskIDs(f.workers["w1"].runs)
+	f.heartbeat("w1", 1, []RunStatus{{Task: tasks[0], Run: 1, Percent: 100}, {Task: tasks[1], Run: 1, Percent: 50}})
+	plan := f.Pass(f.now)
+	assert.Equal(t, len(ordersFor(plan, "w1").Stops)+len(actionsOf(plan, ActionMaintain)), 0)
+	f.now += waveCheckPeriodMillis
+	f.heartbeatServing("w1", 100)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Stops), 1)
+	f.now += waveCheckPeriodMillis
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+}
