Keep a refused task off the worker that refused it

A task that its worker refused went back to the same worker with the next reply, because only failed runs kept a task off a worker: the worker that refuses keeps its free room and so stays the best choice. A long-running task could be refused a hundred times while another worker had room for it.

Refused runs now keep the task off the worker like failed ones, unless the refusal dropped a ticket, without which the worker gets no start anyway. The time is counted from the end of the run instead of from the wait of the step, which had passed already if another task of the step waited, and each worker has its own: with the latest one alone, two workers refused a task in turn.

TestRefusedTaskStartsElsewhere, TestTaskRefusedByTwoWorkersStartsOnTheThird and TestFailedTaskOfWaitingStepChangesWorker failed before.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -207,9 +207,13 @@
 	}
 }
 
-// dropTicket drops the worker's ticket for the step of a run that it refused.
-func (s *Scheduler[P, H]) dropTicket(w *worker, r *run) {
-	if advice := s.advice.steps[stepKeyOf(r.task)]; advice != nil {
-		delete(advice.verdicts, w.id)
+// dropTicket drops the worker's ticket for the step of a run that it refused. It
+// returns false if there is none.
+func (s *Scheduler[P, H]) dropTicket(w *worker, r *run) bool {
+	advice := s.advice.steps[stepKeyOf(r.task)]
+	if advice == nil || advice.verdicts[w.id].ticket == "" {
+		return false
 	}
+	delete(advice.verdicts, w.id)
+	return true
 }
--- /dev/null
+++ b/core/state/sched/assigned_test.go
@@ -0,0 +1,74 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// servingStep is a step with one long-running task.
+var servingStep = jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1}
+
+// TestRefusedTaskStartsElsewhere guards against a task that one worker refuses
+// again and again while another one has room.
+func TestRefusedTaskStartsElsewhere(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("a", servingStep)
+	number := int64(0)
+	for range 5 {
+		f.heartbeat("w1", 1, nil)
+		f.heartbeat("w2", 1, nil)
+		p := f.Pass(f.now)
+		if len(ordersFor(p, "w2").Starts) > 0 {
+			return
+		}
+		f.now += 20
+		for _, s := range ordersFor(p, "w1").Starts {
+			number++
+			f.heartbeat("w1", 1, nil, RunEnd{Number: number, Task: s.Task, Run: s.Run, Result: jobs.ResultRefused})
+		}
+	}
+	t.Fatal("the task was never sent to the worker that has not refused it")
+}
+
+// TestTaskRefusedByTwoWorkersStartsOnTheThird guards against a task that two
+// workers refuse in turn while another one has room.
+func TestTaskRefusedByTwoWorkersStartsOnTheThird(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("a", servingStep)
+	ends := map[string][]RunEnd{}
+	for range 6 {
+		for _, id := range []string{"w1", "w2", "w3"} {
+			f.heartbeat(id, 1, nil, ends[id]...)
+		}
+		p := f.Pass(f.now)
+		if len(ordersFor(p, "w3").Starts) > 0 {
+			return
+		}
+		f.now += 20
+		for _, id := range []string{"w1", "w2"} {
+			ends[id] = endsFor(ordersFor(p, id), jobs.ResultRefused)
+		}
+	}
+	t.Fatal("the task was never sent to the worker that has not refused it")
+}
+
+// TestFailedTaskOfWaitingStepChangesWorker guards against a failed task that
+// goes back to its worker at once because another task of its step has waited
+// for long.
+func TestFailedTaskOfWaitingStepChangesWorker(t *testing.T) {
+	f := newFixture(Defaults())
+	step := servingStep
+	step.TaskCount, step.MaxPerWorker = 2, 1
+	f.submit("a", step)
+	f.heartbeat("w1", 1, nil)
+	started := ordersFor(f.Pass(f.now), "w1").Starts[0]
+	f.now += 2 * clock.Second
+	f.heartbeat("w1", 1, nil, RunEnd{Number: 1, Task: started.Task, Run: started.Run, Result: jobs.ResultFailed})
+	for _, s := range ordersFor(f.Pass(f.now), "w1").Starts {
+		assert.Assert(t, s.Task != started.Task)
+	}
+}
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -66,7 +66,6 @@
 // is empty, for each task of a gang; nil if not all tasks can be placed.
 // Workers are preferred in the same order as for single tasks.
 func (s *Scheduler[P, H]) chooseFromRack(p *pool, g *taskGroup, rack string, now clock.Millis) []*worker {
-	failed := s.failedWorkers(g)
 	byScore := slices.SortedFunc(maps.Values(p.available), func(x, y *worker) int {
 		if scoreX, scoreY := s.scoreWorker(x, g), s.scoreWorker(y, g); scoreX.better(scoreY) {
 			return -1
@@ -75,7 +74,7 @@
 	})
 	var chosen []*worker
 	for _, w := range byScore {
-		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.waitingSince < otherWorkerWaitMillis) || !s.canRun(w, g, now) {
+		if (rack != "" && w.rack != rack) || !s.canRun(w, g, now) || s.gangAvoids(g, w, now) {
 			continue
 		}
 		for range min(w.fitCount(w.capacity.Minus(w.used), g), g.step.TaskCount-len(chosen)) {
@@ -88,18 +87,6 @@
 	return chosen
 }
 
-// failedWorkers returns the workers on which the latest run of a task of the group
-// failed.
-func (s *Scheduler[P, H]) failedWorkers(g *taskGroup) map[jobs.WorkerID]bool {
-	failed := map[jobs.WorkerID]bool{}
-	for n := range g.step.TaskCount {
-		if id, ok := s.lastFailedOn[g.key.taskID(n)]; ok {
-			failed[id] = true
-		}
-	}
-	return failed
-}
-
 // fitCount returns how many tasks of the group fit into the given resources of
 // the worker, at most TaskCount and, unless it is 0, at most MaxPerWorker.
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -139,12 +139,13 @@
 	if result == jobs.ResultDone || result == jobs.ResultFailed {
 		s.updateHealth(w, r, result == jobs.ResultFailed, now)
 	}
-	if result == jobs.ResultRefused {
-		s.dropTicket(w, r)
-	}
-	delete(s.lastFailedOn, r.task)
-	if result == jobs.ResultFailed && !rec.Status.Final() {
-		s.lastFailedOn[r.task] = w.id
+	// A refusal of a ticket keeps the task off the worker until there is a new one.
+	refused := result == jobs.ResultRefused && !s.dropTicket(w, r)
+	switch {
+	case result == jobs.ResultDone || rec.Status.Final():
+		delete(s.avoided, r.task)
+	case result == jobs.ResultFailed || refused:
+		s.avoid(r.task, w, now)
 	}
 	switch {
 	case rec.Status.Final():
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -123,24 +123,18 @@
 	s.noteRun(DecisionStarted, r, w, "")
 }
 
-// otherWorkerWaitMillis is how long a task waits for a worker other than the
-// one that it failed on. The wait is limited because the pool may have no
-// other.
-const otherWorkerWaitMillis = clock.Second
-
 // chooseWorker returns the best worker for a task of a group, or nil if there
 // is none. hasCapacity reports whether any worker has enough free resources,
 // even if it was excluded for another reason.
 func (s *Scheduler[P, H]) chooseWorker(p *pool, g *taskGroup, t jobs.TaskID, now clock.Millis) (best *worker, hasCapacity bool) {
 	reserved := reservation(g.step)
-	failedOn := s.lastFailedOn[t]
 	var bestScore score
 	for _, w := range p.available {
 		if !reserved.FitsIn(w.capacity.Minus(w.used)) {
 			continue
 		}
 		hasCapacity = true
-		if (w.id == failedOn && now-g.waitingSince < otherWorkerWaitMillis) || !s.canRun(w, g, now) {
+		if s.avoids(t, w, now) || !s.canRun(w, g, now) {
 			continue
 		}
 		if candidate := s.scoreWorker(w, g); best == nil || candidate.better(bestScore) {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -25,10 +25,10 @@
 	// removedIncarnations holds the latest removed incarnation of each worker.
 	// Late heartbeats of this incarnation and earlier ones are rejected.
 	removedIncarnations map[jobs.WorkerID]jobs.Incarnation
-	// lastFailedOn holds, for each task whose latest ended run failed, the worker
-	// of that run.
-	lastFailedOn map[jobs.TaskID]jobs.WorkerID
-	pools        map[jobs.PoolName]*pool
+	// avoided holds the workers that tasks are kept off because of how their runs
+	// ended there; an entry may have expired.
+	avoided map[jobs.TaskID][]avoidedWorker
+	pools   map[jobs.PoolName]*pool
 	// poolByQueue maps the configured queues to their pools.
 	poolByQueue map[jobs.QueueName]jobs.PoolName
 	// configVersion is the version of the configuration that poolByQueue and
@@ -193,7 +193,7 @@
 		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
-		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, lastFailedOn: map[jobs.TaskID]jobs.WorkerID{},
+		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, avoided: map[jobs.TaskID][]avoidedWorker{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{},
 	}
 	s.readConfig()
