Start a task elsewhere whose worker does not confirm the start

A task stayed assigned for as long as the worker's heartbeats arrived, even if no heartbeat ever listed the run: the start order was repeated in each reply without a limit. If the replies did not reach the worker, or it ignored the order, the task did not run anywhere.

A worker that sends a heartbeat has processed or dropped the reply to the one before, so an earlier start order for a run that it does not list can no longer take effect. Such a run was already ended as lost if it should not start any more; it now also is when no heartbeat has listed it for 2 s, and the task is kept off that worker for a moment. No lease needs to end first, because the worker never ran the task under the order.

The one run that may have taken place unseen is one whose end the heartbeat omits because its list of ends is full. Nothing is concluded from such a list. On a draining worker that was possible before.

TestUnconfirmedStartMovesToAnotherWorker and TestHiddenEndKeepsTask failed before (the latter as a heartbeat without the new field).

--- a/core/state/sched/assigned_test.go
+++ b/core/state/sched/assigned_test.go
@@ -72,3 +72,38 @@
 		assert.Assert(t, s.Task != started.Task)
 	}
 }
+
+// TestUnconfirmedStartMovesToAnotherWorker guards against a task that stays
+// assigned to a worker that its start order does not reach.
+func TestUnconfirmedStartMovesToAnotherWorker(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("a", servingStep)
+	f.heartbeat("w1", 1, nil)
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w1").Starts), 1)
+	for end := f.now + 6*clock.Second; f.now < end; f.now += 500 {
+		f.heartbeat("w1", 1, nil)
+		f.heartbeat("w2", 1, nil)
+		if len(ordersFor(f.Pass(f.now), "w2").Starts) > 0 {
+			return
+		}
+	}
+	t.Fatal("the task has not started on the other worker")
+}
+
+// TestHiddenEndKeepsTask guards against a second start of a task whose worker
+// has completed it but cannot list the end yet.
+func TestHiddenEndKeepsTask(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	for end := f.now + 6*clock.Second; f.now < end; f.now += 500 {
+		f.seq++
+		f.Heartbeat(Heartbeat{
+			Worker: "w1", Incarnation: 1, Machine: "m-w1", Pool: "p", Seq: f.seq, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000},
+			Draining: true, MoreEnds: true, ReceivedAt: f.now,
+		}, f.now)
+		f.heartbeat("w2", 1, nil)
+		assert.Equal(t, len(ordersFor(f.Pass(f.now), "w2").Starts), 0)
+	}
+}
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -46,7 +46,7 @@
 		w.leaseExpired = false
 		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 	}
-	s.repeatOrders(w, now)
+	s.repeatOrders(w, h.MoreEnds, now)
 	s.stopStalledRuns(w, now)
 	s.adjustSpeed(w, now)
 	if !w.draining {
@@ -183,6 +183,9 @@
 // and records those in the heartbeat that are not assigned to it.
 func (s *Scheduler[P, H]) updateRuns(w *worker, h Heartbeat, now clock.Millis) {
 	for _, r := range w.runs {
+		if r.listed || r.unlistedSince == 0 {
+			r.unlistedSince = now
+		}
 		r.listed = false
 	}
 	s.clearUnassigned(w)
@@ -230,10 +233,11 @@
 // arrive, and orders the stop of the runs that are not assigned to the worker.
 // When a worker sends a heartbeat, it has processed or dropped the reply to the
 // one before. An earlier start order for a run that the heartbeat does not list
-// can therefore no longer take effect, and if the run should not start any
-// more, it is ended as lost. On a draining worker, the long-running tasks that
-// the heartbeat lists are stopped.
-func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
+// can therefore no longer take effect. If the run should not start any more, or
+// has not been listed for unconfirmedStartMillis, it is ended as lost, but not
+// while its end may be among those that the heartbeat omits (moreEnds). On a
+// draining worker, the long-running tasks that the heartbeat lists are stopped.
+func (s *Scheduler[P, H]) repeatOrders(w *worker, moreEnds bool, now clock.Millis) {
 	for t, extra := range w.unassigned {
 		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
 	}
@@ -242,6 +246,10 @@
 		switch {
 		case r.listed && (r.stopping || !r.needed()):
 			w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: id, Run: r.number})
+		case !r.listed && moreEnds:
+		case !r.listed && now-r.unlistedSince >= unconfirmedStartMillis:
+			s.endRun(w, r, jobs.ResultLost, "", now)
+			s.avoid(id, w, now)
 		case !r.listed && (r.stopping || !r.needed() || w.draining):
 			s.endRun(w, r, jobs.ResultLost, "", now)
 		case !r.listed:
@@ -252,6 +260,11 @@
 	}
 }
 
+// unconfirmedStartMillis is how long the start order of a run is repeated that
+// the worker's heartbeats do not list. A worker that gets no reply sends its next
+// heartbeat after a second, so at least two replies in a row were lost by then.
+const unconfirmedStartMillis = 2 * clock.Second
+
 // needed reports whether the job still needs the run: the job has not ended,
 // and the task was not completed by the end of another task of its gang.
 func (r *run) needed() bool {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -168,8 +168,11 @@
 	number int
 	rec    *jobs.Record
 	step   *jobs.Step
-	// listed is set if the worker's latest heartbeat lists the run.
-	listed bool
+	// listed is set if the worker's latest heartbeat lists the run. Otherwise,
+	// unlistedSince is when the first heartbeat in a row without it was processed; 0
+	// for none.
+	listed        bool
+	unlistedSince clock.Millis
 	// percent and load are those of the latest RunStatus; RunStatus.Load says in
 	// which unit load is. checkpoint is the latest checkpoint that is not empty.
 	percent    int
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -100,9 +100,10 @@
 	Remaining clock.Millis
 	// Running lists all runs on the worker. Ends lists the run ends that are
 	// not acknowledged; a worker limits their number and reports the rest once
-	// these are acknowledged.
-	Running []RunStatus
-	Ends    []RunEnd
+	// these are acknowledged. MoreEnds is set if there may be such a rest.
+	Running  []RunStatus
+	Ends     []RunEnd
+	MoreEnds bool
 	// ReceivedAt is the leader's monotonic time of receipt.
 	ReceivedAt clock.Millis
 }
