Free the resources of all unassigned runs of a task

If a heartbeat listed two runs of one task that are not assigned to the worker, such as one that is being stopped and the next one, both were added to the worker's used resources, but only the latter was kept, and only its resources were freed and only its stop was ordered. The worker seemed fuller than it was until its lease ended, and waiting tasks did not get that room.

The unassigned runs are now kept by task and run number.

TestRunsOfOneTaskListedTogether failed before: one stop instead of two, and resources in use without any run.

--- a/core/state/sched/assigned_test.go
+++ b/core/state/sched/assigned_test.go
@@ -107,3 +107,17 @@
 		assert.Equal(t, len(ordersFor(f.Pass(f.now), "w2").Starts), 0)
 	}
 }
+
+// TestRunsOfOneTaskListedTogether guards against resources that stay reserved
+// after a heartbeat that lists several unassigned runs of one task.
+func TestRunsOfOneTaskListedTogether(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("a", smallStep)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	task := jobs.TaskID{Job: "a"}
+	f.heartbeat("w2", 1, []RunStatus{{Task: task, Run: 7}, {Task: task, Run: 8}, {Task: task, Run: 8}})
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w2").Stops), 2)
+	f.heartbeat("w2", 1, nil)
+	assert.Equal(t, f.workers["w2"].used, jobs.Resources{})
+}
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -209,8 +209,8 @@
 // clearUnassigned forgets the unassigned runs of a worker and frees their
 // resources.
 func (s *Scheduler[P, H]) clearUnassigned(w *worker) {
-	for _, extra := range w.unassigned {
-		w.used = w.used.Minus(extra.resources)
+	for _, resources := range w.unassigned {
+		w.used = w.used.Minus(resources)
 	}
 	w.unassigned = nil
 }
@@ -218,15 +218,19 @@
 // addUnassigned records a run that is not assigned to the worker. Its resources
 // count as used while the worker lists it.
 func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
-	extra := unassignedRun{run: status.Run}
+	key := Stop{Task: status.Task, Run: status.Run}
+	if _, ok := w.unassigned[key]; ok {
+		return
+	}
+	resources := jobs.Resources{}
 	if rec := s.State.Jobs[status.Task.Job]; rec != nil && status.Task.Step >= 0 && status.Task.Step < len(rec.Steps) {
-		extra.resources = reservation(&rec.Steps[status.Task.Step])
+		resources = reservation(&rec.Steps[status.Task.Step])
 	}
 	if w.unassigned == nil {
-		w.unassigned = map[jobs.TaskID]unassignedRun{}
+		w.unassigned = map[Stop]jobs.Resources{}
 	}
-	w.unassigned[status.Task] = extra
-	w.used = w.used.Plus(extra.resources)
+	w.unassigned[key] = resources
+	w.used = w.used.Plus(resources)
 }
 
 // repeatOrders repeats the orders that, according to the heartbeat, did not
@@ -238,8 +242,8 @@
 // while its end may be among those that the heartbeat omits (moreEnds). On a
 // draining worker, the long-running tasks that the heartbeat lists are stopped.
 func (s *Scheduler[P, H]) repeatOrders(w *worker, moreEnds bool, now clock.Millis) {
-	for t, extra := range w.unassigned {
-		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
+	for stop := range w.unassigned {
+		w.heartbeat.stops = append(w.heartbeat.stops, stop)
 	}
 	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -113,9 +113,10 @@
 	// leaseUntil is the end of the longest lease that the worker may have.
 	leaseUntil clock.Millis
 	runs       map[jobs.TaskID]*run
-	// unassigned holds the runs that the worker lists although they are not
-	// assigned to it.
-	unassigned map[jobs.TaskID]unassignedRun
+	// unassigned holds the stop orders for the runs that the worker lists although
+	// they are not assigned to it, with the resources that they use. used is the
+	// sum of these and of the reservations of runs.
+	unassigned map[Stop]jobs.Resources
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
@@ -143,12 +144,6 @@
 	quarantinedUntil clock.Millis
 }
 
-// unassignedRun is a run that a worker lists although it is not assigned to it.
-type unassignedRun struct {
-	run       int
-	resources jobs.Resources
-}
-
 // pendingHeartbeat is a heartbeat whose reply is delayed until replyBy.
 type pendingHeartbeat struct {
 	// replyBy is valid if hasReplyBy is set; it can only be brought forward.
