Queue the tasks of an occurrence once if it began early

A leader whose clock is ahead starts an occurrence early by the clock of the next leader, which put it among the scheduled ones. If one of its runs ended before the occurrence was due there, the task was queued at once, and again when the occurrence became due. It was then started twice: the state ignored the second assignment, but the worker got the order and ran the task beside the first run. The same could happen between a pass and the due time reached by a later heartbeat.

Tasks of an occurrence that is still scheduled are no longer queued one by one. The time up to which occurrences have been queued decides that, so that it agrees with the contents of the heap.

TestEarlyOccurrenceIsQueuedOnce failed before with two starts.

--- a/core/state/sched/assigned_test.go
+++ b/core/state/sched/assigned_test.go
@@ -7,6 +7,7 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
 )
 
 // servingStep is a step with one long-running task.
@@ -121,3 +122,28 @@
 	f.heartbeat("w2", 1, nil)
 	assert.Equal(t, f.workers["w2"].used, jobs.Resources{})
 }
+
+// TestEarlyOccurrenceIsQueuedOnce guards against a second start of a task that
+// a leader with a faster clock started before it is due by this leader's clock.
+func TestEarlyOccurrenceIsQueuedOnce(t *testing.T) {
+	f := newFixture(Defaults())
+	f.Submit(jobs.Job{ID: "a", Queue: "q", Pool: "p", MaxAttempts: 2, Steps: []jobs.Step{smallStep}, OccurrenceCount: 1, FirstDue: f.now}, f.now)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.now -= 500
+	f.testScheduler = New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now)
+	task := jobs.TaskID{Job: "a"}
+	f.heartbeat("w1", 1, nil, RunEnd{Number: 1, Task: task, Run: 1, Result: jobs.ResultStopped})
+	f.now += 500
+	starts := 0
+	for range 5 {
+		f.heartbeat("w2", 1, nil)
+		f.heartbeat("w3", 1, nil)
+		p := f.Pass(f.now)
+		starts += len(ordersFor(p, "w1").Starts) + len(ordersFor(p, "w2").Starts) + len(ordersFor(p, "w3").Starts)
+		if starts > 0 {
+			break
+		}
+	}
+	assert.Equal(t, starts, 1)
+}
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -179,13 +179,13 @@
 }
 
 // queueJob queues the tasks of a job that may start now, and schedules the
-// occurrences that are not due.
+// occurrences that are due later than queuedUntil.
 func (s *Scheduler[P, H]) queueJob(rec *jobs.Record, now clock.Millis) {
 	if rec.Status.Final() {
 		return
 	}
 	for occurrence := range rec.Occurrences {
-		if due := rec.DueAt(occurrence); due > now {
+		if due := rec.DueAt(occurrence); due > s.queuedUntil {
 			s.scheduled.Push(scheduledOccurrence{dueAt: due, job: rec.ID, occurrence: occurrence})
 			continue
 		}
@@ -214,9 +214,11 @@
 	}
 }
 
-// queueTask adds a waiting task to its pool.
+// queueTask adds a waiting task to its pool. It does nothing while the
+// occurrence is in scheduled: a leader whose clock is ahead may have started its
+// tasks in an earlier term, and those that wait are queued when it is due.
 func (s *Scheduler[P, H]) queueTask(rec *jobs.Record, t jobs.TaskID, now clock.Millis) {
-	if rec.Status.Final() {
+	if rec.Status.Final() || rec.DueAt(t.Occurrence) > s.queuedUntil {
 		return
 	}
 	p := s.pool(s.poolOf(rec))
@@ -293,6 +295,7 @@
 
 // queueDueOccurrences queues the occurrences that have become due.
 func (s *Scheduler[P, H]) queueDueOccurrences(now clock.Millis) {
+	s.queuedUntil = max(s.queuedUntil, now)
 	for s.scheduled.Len() > 0 && s.scheduled.Top().dueAt <= now {
 		next := s.scheduled.Pop()
 		if rec := s.State.Jobs[next.job]; rec != nil && !rec.Status.Final() {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -49,8 +49,10 @@
 	// pending holds the jobs without a schedule that have not ended and of which
 	// no task is known to have started on a worker.
 	pending map[jobs.ID]*jobs.Record
-	// scheduled holds the occurrences that are not due yet.
-	scheduled heap.Heap[scheduledOccurrence]
+	// scheduled holds the occurrences that are due later than queuedUntil. Tasks of
+	// the others are queued as soon as they wait and their step is ready.
+	scheduled   heap.Heap[scheduledOccurrence]
+	queuedUntil clock.Millis
 	// replyDeadlines orders the heartbeats by the time at which they must be
 	// answered. An entry is skipped if its heartbeat has been answered or must
 	// now be answered at an earlier time.
@@ -188,7 +190,7 @@
 // sends a heartbeat.
 func New[P RankPolicy, H place.HealthPolicy](settings Settings, policy P, health H, state *jobs.State, now clock.Millis) *Scheduler[P, H] {
 	s := &Scheduler[P, H]{
-		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
+		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now, queuedUntil: now,
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
 		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, avoided: map[jobs.TaskID][]avoidedWorker{},
