Remove the waiting tasks of a gang that is done

A task of a gang that ended otherwise just before another task reported the gang as done stayed in the group of waiting tasks until its job ended. It never started, but its work counted as waiting, so the pool seemed to need machines.

The check of the test compares the groups, runs and used resources with the state. TestDoneGangLeavesNoTaskWaiting failed before.

--- a/core/state/sched/assigned_test.go
+++ b/core/state/sched/assigned_test.go
@@ -147,3 +147,18 @@
 	}
 	assert.Equal(t, starts, 1)
 }
+
+// TestDoneGangLeavesNoTaskWaiting guards against waiting work that is never
+// done: that of a gang's task that ended shortly before the gang was done.
+func TestDoneGangLeavesNoTaskWaiting(t *testing.T) {
+	f := newFixture(Defaults())
+	step := smallStep
+	step.TaskCount, step.Gang, step.MaxPerWorker = 2, true, 1
+	f.submit("a", step, jobs.Step{TaskCount: 1, Resources: step.Resources, Estimate: 500, DependsOn: []int{0}})
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	p := f.Pass(f.now)
+	f.heartbeat("w1", 1, nil, endsFor(ordersFor(p, "w1"), jobs.ResultStopped)...)
+	f.heartbeat("w2", 1, nil, endsFor(ordersFor(p, "w2"), jobs.ResultDone)...)
+	f.checkConsistency(t.Fatalf)
+}
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -141,6 +141,14 @@
 	return inPool >= g.step.TaskCount
 }
 
+// unqueueGang removes the waiting tasks of a gang from its group once the gang is
+// done. It has no effect if t is not part of a gang.
+func (s *Scheduler[P, H]) unqueueGang(rec *jobs.Record, t jobs.TaskID) {
+	if g := s.pool(s.poolOf(rec)).groupByStep[stepKeyOf(t)]; g != nil && g.step.Gang {
+		g.waiting = g.waiting[:0]
+	}
+}
+
 // stopGang stops the other tasks of a gang after task t has ended before the
 // work of the gang was done. They cannot work without it, and all tasks must
 // start again together. stopGang has no effect if t is not part of a gang.
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -155,6 +155,7 @@
 		}
 	case !needed:
 	case result == jobs.ResultDone && !r.step.LongRunning:
+		s.unqueueGang(rec, r.task)
 		s.queueDependents(rec, r.task, now)
 	default:
 		s.queueTask(rec, r.task, now)
