--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -300,7 +300,7 @@
 	return max(at, now+1)
 }
 
-func sortedTaskIDs(m map[jobs.TaskID]*run) []jobs.TaskID {
+func sortedTaskIDs[R any](m map[jobs.TaskID]R) []jobs.TaskID {
 	return slices.SortedFunc(maps.Keys(m), func(a, b jobs.TaskID) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
 			cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
