Start the long-running task first that has waited longest

The tasks of a step waited as a stack: the one whose run ended last started first. If a step has more long-running tasks than workers that can take one, because of the limit on tasks of the step on one worker, two tasks that fail now and then took turns and a third never ran. When a task failed, its sibling did not get the free place either: the failed task came first, was kept off the worker and ended the search for the group.

A long-running task that has run before now waits behind its siblings. Finite tasks are still retried first, which keeps the last retries of a step from prolonging it.

TestWaitingSiblingStartsFirst failed before.

--- a/core/state/sched/assigned_test.go
+++ b/core/state/sched/assigned_test.go
@@ -162,3 +162,18 @@
 	f.heartbeat("w2", 1, nil, endsFor(ordersFor(p, "w2"), jobs.ResultDone)...)
 	f.checkConsistency(t.Fatalf)
 }
+
+// TestWaitingSiblingStartsFirst guards against a long-running task that never
+// starts because others of its step fail and start again in turn.
+func TestWaitingSiblingStartsFirst(t *testing.T) {
+	f := newFixture(Defaults())
+	step := servingStep
+	step.TaskCount, step.MaxPerWorker = 2, 1
+	f.submit("a", step)
+	f.heartbeat("w1", 1, nil)
+	first := ordersFor(f.Pass(f.now), "w1").Starts
+	f.heartbeat("w1", 1, nil, endsFor(Orders{Starts: first}, jobs.ResultFailed)...)
+	next := ordersFor(f.Pass(f.now), "w1").Starts
+	assert.Equal(t, len(next), 1)
+	assert.Assert(t, next[0].Task != first[0].Task)
+}
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -233,7 +233,13 @@
 		p.groups = append(p.groups, g)
 		p.sorted = false
 	}
-	g.waiting = append(g.waiting, t.Index)
+	if g.step.LongRunning && rec.Task(t).Run > 0 {
+		// The tasks that have waited for longer start first: with too few workers
+		// for all, the others would take turns and never let them start.
+		g.waiting = slices.Insert(g.waiting, 0, t.Index)
+	} else {
+		g.waiting = append(g.waiting, t.Index)
+	}
 	s.dirtyPools[p] = true
 }
 
