--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -46,7 +46,7 @@
 		w.leaseExpired = false
 		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 	}
-	s.repeatOrders(w, now)
+	s.repeatOrders(w, h.MoreEnds, now)
 	s.stopStalledRuns(w, now)
 	s.adjustSpeed(w, now)
 	if !w.draining {
@@ -139,12 +139,13 @@
 	if result == jobs.ResultDone || result == jobs.ResultFailed {
 		s.updateHealth(w, r, result == jobs.ResultFailed, now)
 	}
-	if result == jobs.ResultRefused {
-		s.dropTicket(w, r)
-	}
-	delete(s.lastFailedOn, r.task)
-	if result == jobs.ResultFailed && !rec.Status.Final() {
-		s.lastFailedOn[r.task] = w.id
+	// A refusal of a ticket keeps the task off the worker until there is a new one.
+	refused := result == jobs.ResultRefused && !s.dropTicket(w, r)
+	switch {
+	case result == jobs.ResultDone || rec.Status.Final():
+		delete(s.avoided, r.task)
+	case result == jobs.ResultFailed || refused:
+		s.avoid(r.task, w, now)
 	}
 	switch {
 	case rec.Status.Final():
@@ -154,6 +155,7 @@
 		}
 	case !needed:
 	case result == jobs.ResultDone && !r.step.LongRunning:
+		s.unqueueGang(rec, r.task)
 		s.queueDependents(rec, r.task, now)
 	default:
 		s.queueTask(rec, r.task, now)
@@ -182,6 +184,9 @@
 // and records those in the heartbeat that are not assigned to it.
 func (s *Scheduler[P, H]) updateRuns(w *worker, h Heartbeat, now clock.Millis) {
 	for _, r := range w.runs {
+		if r.listed || r.unlistedSince == 0 {
+			r.unlistedSince = now
+		}
 		r.listed = false
 	}
 	s.clearUnassigned(w)
@@ -205,8 +210,8 @@
 // clearUnassigned forgets the unassigned runs of a worker and frees their
 // resources.
 func (s *Scheduler[P, H]) clearUnassigned(w *worker) {
-	for _, extra := range w.unassigned {
-		w.used = w.used.Minus(extra.resources)
+	for _, resources := range w.unassigned {
+		w.used = w.used.Minus(resources)
 	}
 	w.unassigned = nil
 }
@@ -214,33 +219,42 @@
 // addUnassigned records a run that is not assigned to the worker. Its resources
 // count as used while the worker lists it.
 func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
-	extra := unassignedRun{run: status.Run}
+	key := Stop{Task: status.Task, Run: status.Run}
+	if _, ok := w.unassigned[key]; ok {
+		return
+	}
+	resources := jobs.Resources{}
 	if rec := s.State.Jobs[status.Task.Job]; rec != nil && status.Task.Step >= 0 && status.Task.Step < len(rec.Steps) {
-		extra.resources = reservation(&rec.Steps[status.Task.Step])
+		resources = reservation(&rec.Steps[status.Task.Step])
 	}
 	if w.unassigned == nil {
-		w.unassigned = map[jobs.TaskID]unassignedRun{}
+		w.unassigned = map[Stop]jobs.Resources{}
 	}
-	w.unassigned[status.Task] = extra
-	w.used = w.used.Plus(extra.resources)
+	w.unassigned[key] = resources
+	w.used = w.used.Plus(resources)
 }
 
 // repeatOrders repeats the orders that, according to the heartbeat, did not
 // arrive, and orders the stop of the runs that are not assigned to the worker.
 // When a worker sends a heartbeat, it has processed or dropped the reply to the
 // one before. An earlier start order for a run that the heartbeat does not list
-// can therefore no longer take effect, and if the run should not start any
-// more, it is ended as lost. On a draining worker, the long-running tasks that
-// the heartbeat lists are stopped.
-func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
-	for t, extra := range w.unassigned {
-		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
+// can therefore no longer take effect. If the run should not start any more, or
+// has not been listed for unconfirmedStartMillis, it is ended as lost, but not
+// while its end may be among those that the heartbeat omits (moreEnds). On a
+// draining worker, the long-running tasks that the heartbeat lists are stopped.
+func (s *Scheduler[P, H]) repeatOrders(w *worker, moreEnds bool, now clock.Millis) {
+	for stop := range w.unassigned {
+		w.heartbeat.stops = append(w.heartbeat.stops, stop)
 	}
 	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
 		switch {
 		case r.listed && (r.stopping || !r.needed()):
 			w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: id, Run: r.number})
+		case !r.listed && moreEnds:
+		case !r.listed && now-r.unlistedSince >= unconfirmedStartMillis:
+			s.endRun(w, r, jobs.ResultLost, "", now)
+			s.avoid(id, w, now)
 		case !r.listed && (r.stopping || !r.needed() || w.draining):
 			s.endRun(w, r, jobs.ResultLost, "", now)
 		case !r.listed:
@@ -251,6 +265,11 @@
 	}
 }
 
+// unconfirmedStartMillis is how long the start order of a run is repeated that
+// the worker's heartbeats do not list. A worker that gets no reply sends its next
+// heartbeat after a second, so at least two replies in a row were lost by then.
+const unconfirmedStartMillis = 2 * clock.Second
+
 // needed reports whether the job still needs the run: the job has not ended,
 // and the task was not completed by the end of another task of its gang.
 func (r *run) needed() bool {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -25,10 +25,10 @@
 	// removedIncarnations holds the latest removed incarnation of each worker.
 	// Late heartbeats of this incarnation and earlier ones are rejected.
 	removedIncarnations map[jobs.WorkerID]jobs.Incarnation
-	// lastFailedOn holds, for each task whose latest ended run failed, the worker
-	// of that run.
-	lastFailedOn map[jobs.TaskID]jobs.WorkerID
-	pools        map[jobs.PoolName]*pool
+	// avoided holds the workers that tasks are kept off because of how their runs
+	// ended there; an entry may have expired.
+	avoided map[jobs.TaskID][]avoidedWorker
+	pools   map[jobs.PoolName]*pool
 	// poolByQueue maps the configured queues to their pools.
 	poolByQueue map[jobs.QueueName]jobs.PoolName
 	// configVersion is the version of the configuration that poolByQueue and
@@ -51,8 +51,10 @@
 	// pending holds the jobs without a schedule that have not ended and of which
 	// no task is known to have started on a worker.
 	pending map[jobs.ID]*jobs.Record
-	// scheduled holds the occurrences that are not due yet.
-	scheduled heap.Heap[scheduledOccurrence]
+	// scheduled holds the occurrences that are due later than queuedUntil. Tasks of
+	// the others are queued as soon as they wait and their step is ready.
+	scheduled   heap.Heap[scheduledOccurrence]
+	queuedUntil clock.Millis
 	// replyDeadlines orders the heartbeats by the time at which they must be
 	// answered. An entry is skipped if its heartbeat has been answered or must
 	// now be answered at an earlier time.
@@ -115,9 +117,10 @@
 	// leaseUntil is the end of the longest lease that the worker may have.
 	leaseUntil clock.Millis
 	runs       map[jobs.TaskID]*run
-	// unassigned holds the runs that the worker lists although they are not
-	// assigned to it.
-	unassigned map[jobs.TaskID]unassignedRun
+	// unassigned holds the stop orders for the runs that the worker lists although
+	// they are not assigned to it, with the resources that they use. used is the
+	// sum of these and of the reservations of runs.
+	unassigned map[Stop]jobs.Resources
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
@@ -147,12 +150,6 @@
 	quarantinedUntil clock.Millis
 }
 
-// unassignedRun is a run that a worker lists although it is not assigned to it.
-type unassignedRun struct {
-	run       int
-	resources jobs.Resources
-}
-
 // pendingHeartbeat is a heartbeat whose reply is delayed until replyBy.
 type pendingHeartbeat struct {
 	// replyBy is valid if hasReplyBy is set; it can only be brought forward.
@@ -172,8 +169,11 @@
 	number int
 	rec    *jobs.Record
 	step   *jobs.Step
-	// listed is set if the worker's latest heartbeat lists the run.
-	listed bool
+	// listed is set if the worker's latest heartbeat lists the run. Otherwise,
+	// unlistedSince is when the first heartbeat in a row without it was processed; 0
+	// for none.
+	listed        bool
+	unlistedSince clock.Millis
 	// percent and load are those of the latest RunStatus; RunStatus.Load says in
 	// which unit load is. checkpoint is the latest checkpoint that is not empty.
 	percent    int
@@ -194,10 +194,10 @@
 // sends a heartbeat.
 func New[P RankPolicy, H place.HealthPolicy](settings Settings, policy P, health H, state *jobs.State, now clock.Millis) *Scheduler[P, H] {
 	s := &Scheduler[P, H]{
-		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
+		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now, queuedUntil: now,
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
-		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, lastFailedOn: map[jobs.TaskID]jobs.WorkerID{},
+		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, avoided: map[jobs.TaskID][]avoidedWorker{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{},
 	}
 	s.readConfig()
