Keep the workers of each pool

Callers saw nothing yet. liveWorkers went through the workers of all pools to find those of one, which gangs, advice and the reports on waiting work do in each pass while they wait.

--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -75,9 +75,11 @@
 	}
 	if w.pool != h.Pool && w.pool != "" {
 		delete(s.pool(w.pool).available, w.id)
+		delete(s.pool(w.pool).workers, w.id)
 	}
 	w.machine, w.pool, w.zone, w.labels = h.Machine, h.Pool, h.Zone, h.Labels
 	w.rack = rackOf(h.Labels)
+	s.pool(w.pool).workers[w.id] = w
 	w.seq, w.capacity, w.reported = h.Seq, h.Capacity, true
 	w.heardAt = max(w.heardAt, h.ReceivedAt)
 	delete(s.absences, h.Machine)
@@ -310,6 +312,7 @@
 	delete(s.pool(w.pool).available, w.id)
 	if s.workers[w.id] == w {
 		delete(s.workers, w.id)
+		delete(s.pool(w.pool).workers, w.id)
 	}
 	if s.workerByMachine[w.machine] == w {
 		delete(s.workerByMachine, w.machine)
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -94,6 +94,8 @@
 
 // pool is the waiting work and the available workers of one pool.
 type pool struct {
+	// workers holds the workers of the pool that have sent a heartbeat in this term.
+	workers map[jobs.WorkerID]*worker
 	// groups holds the groups of waiting tasks. sorted is false if a group was
 	// added since the last sort.
 	groups []*taskGroup
@@ -158,8 +160,8 @@
 // this term and whose lease has not expired.
 func (s *Scheduler[P, H]) liveWorkers(p *pool, now clock.Millis) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
-		for _, w := range s.workers {
-			if s.pools[w.pool] == p && w.reported && w.leaseUntil >= now && !yield(w) {
+		for _, w := range p.workers {
+			if w.leaseUntil >= now && !yield(w) {
 				return
 			}
 		}
@@ -171,7 +173,8 @@
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{
-			groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{}, history: map[jobs.QueueName]*place.ClassHistory{},
+			workers: map[jobs.WorkerID]*worker{}, groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{},
+			history: map[jobs.QueueName]*place.ClassHistory{},
 		}
 		s.pools[name] = p
 	}
--- /dev/null
+++ b/core/state/sched/queue_test.go
@@ -0,0 +1,38 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/jobs"
+)
+
+// liveIDs returns the live workers of a pool.
+func (f *fixture) liveIDs(name jobs.PoolName) map[jobs.WorkerID]jobs.Incarnation {
+	out := map[jobs.WorkerID]jobs.Incarnation{}
+	for w := range f.liveWorkers(f.pool(name), f.now) {
+		out[w.id] = w.incarnation
+	}
+	return out
+}
+
+// TestLiveWorkersOfPool guards against work that is planned for workers that have
+// exited, have moved to another pool or are an earlier incarnation, and against
+// leaving out one that has come.
+func TestLiveWorkersOfPool(t *testing.T) {
+	f := newFixture(Defaults())
+	for _, id := range []string{"w1", "w2", "w3", "w4"} {
+		f.heartbeat(id, 1, nil)
+	}
+	assert.Equal(t, len(f.liveIDs("p")), 4)
+	f.RemoveWorker("w1", 1, f.now)
+	f.heartbeat("w2", 2, nil)
+	f.seq++
+	f.Heartbeat(Heartbeat{Worker: "w3", Incarnation: 1, Machine: "m-w3", Pool: "other", Seq: f.seq, ReceivedAt: f.now}, f.now)
+	f.Heartbeat(Heartbeat{Worker: "w5", Incarnation: 2, Machine: "m-w4", Pool: "p", Seq: 1, ReceivedAt: f.now}, f.now)
+	assert.DeepEqual(t, f.liveIDs("p"), map[jobs.WorkerID]jobs.Incarnation{"w2": 2, "w5": 2})
+	assert.DeepEqual(t, f.liveIDs("other"), map[jobs.WorkerID]jobs.Incarnation{"w3": 1})
+	f.now += f.maxLease() + 1
+	assert.Equal(t, len(f.liveIDs("p")), 0)
+}
