Stop finite tasks for a long-running task that would start too late

Callers saw long-running tasks that do not run although the workers have room for them beside other long-running tasks.

Now, once a task has waited for three seconds and no worker is predicted to have room within five, finite tasks of a lower class are stopped on the worker where the least work is lost: tasks with checkpoints first, no gangs, and only as many as needed. Nothing is stopped before because a machine of the standby pool arrives within that time, and nothing where the task would not fit afterwards. The runs that are being stopped make this worker the one that is ready first, so the next pass reserves there and stops no more. A policy that ranks all work in one class stops nothing.

--- /dev/null
+++ b/core/state/sched/preempt_test.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// TestLongFiniteTasksAreStopped guards against a long-running task that waits for
+// finite tasks that take longer than it may wait. As little work as possible is
+// lost: tasks with checkpoints are stopped first, and only as many as needed.
+func TestLongFiniteTasksAreStopped(t *testing.T) {
+	n := 0
+	b := newBusyPool(t, 2, func() jobs.Step {
+		n++
+		return jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 4000}, Estimate: 60 * clock.Second, Checkpoints: n%2 == 0}
+	})
+	b.run(3 * clock.Second)
+	b.submit("serve", largeStep)
+	b.run(preemptAfterMillis - 100)
+	assert.Equal(t, len(b.stopped), 0)
+	b.waitFor("serve", 1, runAgainMillis-preemptAfterMillis)
+	assert.Equal(t, len(b.stopped), 3)
+	for _, step := range b.stopped {
+		assert.Assert(t, step.Checkpoints)
+	}
+	b.run(3 * clock.Second)
+	assert.Equal(t, len(b.stopped), 3)
+}
+
+// TestLongRunningTasksAreNotStopped guards against a long-running task that makes
+// another one stop, or one that breaks up a gang.
+func TestLongRunningTasksAreNotStopped(t *testing.T) {
+	b := newBusyPool(t, 1, nil)
+	half := largeStep
+	half.TaskCount = 2
+	b.submit("serve", half)
+	b.waitFor("serve", 2, clock.Second)
+	gang := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 5000}, Estimate: 60 * clock.Second, Gang: true, Checkpoints: true}
+	b.submit("gang", gang)
+	b.waitFor("gang", 2, clock.Second)
+	b.submit("watch", largeStep)
+	b.run(10 * clock.Second)
+	assert.Equal(t, len(b.stopped), 0)
+}
+
+// TestOnlyUsefulStops guards against finite tasks that are stopped although the
+// long-running task can't start there anyway, because a gang has the rest.
+func TestOnlyUsefulStops(t *testing.T) {
+	b := newBusyPool(t, 1, nil)
+	gang := jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 12_000}, Estimate: 60 * clock.Second, Gang: true, Checkpoints: true}
+	b.submit("gang", gang)
+	b.submit("finite", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 3000}, Estimate: 60 * clock.Second})
+	b.waitFor("gang", 2, clock.Second)
+	b.waitFor("finite", 2, clock.Second)
+	b.submit("watch", largeStep)
+	b.run(10 * clock.Second)
+	assert.Equal(t, len(b.stopped), 0)
+}
+
+// TestTasksRunAgainBesideLongFiniteTasks guards against the same failure as
+// TestLongRunningTasksRunAgainAfterFaults while finite tasks take much longer than a
+// long-running task may wait, and for each waiting task of a step.
+func TestTasksRunAgainBesideLongFiniteTasks(t *testing.T) {
+	for seed := range uint64(10) {
+		playFaults(t, seed, 40*clock.Second)
+	}
+}
--- a/core/state/sched/reserve.go
+++ b/core/state/sched/reserve.go
@@ -50,7 +50,7 @@
 		return
 	}
 	for missing, perWorker := len(g.waiting), 0; missing > 0; perWorker++ {
-		hosts := s.hosts(p, g, perWorker, now)
+		hosts := s.preempt(p, g, s.hosts(p, g, perWorker, now), missing, now)
 		if len(hosts) == 0 {
 			return
 		}
