--- a/core/state/sched/preempt_test.go
+++ b/core/state/sched/preempt_test.go
@@ -63,7 +63,7 @@
 
 // TestTasksRunAgainBesideLongFiniteTasks guards against the same failure as
 // TestLongRunningTasksRunAgainAfterFaults while finite tasks take much longer than a
-// long-running task may wait, and for each waiting task of a step.
+// long-running task may wait.
 func TestTasksRunAgainBesideLongFiniteTasks(t *testing.T) {
 	for seed := range uint64(10) {
 		playFaults(t, seed, 40*clock.Second)
