--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -14,9 +14,9 @@
 // has room for it.
 const maxIdleMillis = 6 * clock.Second
 
-// servingStep is a long-running step whose two tasks run on different workers. One of
+// spreadStep is a long-running step whose two tasks run on different workers. One of
 // them may be unavailable.
-var servingStep = jobs.Step{
+var spreadStep = jobs.Step{
 	TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1,
 }
 
@@ -71,7 +71,7 @@
 	f := newFixture(Defaults())
 	f.now += f.settings.TakeoverDelayMillis
 	for _, id := range ids {
-		f.submit(string(id), servingStep)
+		f.submit(string(id), spreadStep)
 	}
 	f.heartbeat("w1", 1, nil)
 	f.heartbeat("w2", 1, nil)
@@ -132,7 +132,7 @@
 	f.HandleOutcome(actionsOf(f.Pass(f.now), ActionMaintain)[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
 	// Without w1 a task is missing, so the order is not repeated again.
 	f.RemoveWorker("w1", 1, f.now)
-	f.submit("b", servingStep)
+	f.submit("b", spreadStep)
 	assert.Equal(t, len(f.advance(maxIdleMillis, "w2")), 0)
 	assert.Equal(t, f.runs("b", "w2"), 1)
 }
@@ -171,7 +171,7 @@
 	config.Version++
 	config.Pools = []jobs.Pool{{Name: "p"}, {Name: "other"}}
 	f.Configure(config, f.now)
-	f.submit("a", servingStep)
+	f.submit("a", spreadStep)
 	f.advance(maxIdleMillis, "w1", "w2")
 	assert.Equal(t, f.runs("a", "w1")+f.runs("a", "w2"), 2)
 }
@@ -215,7 +215,7 @@
 func TestWavesShareCordon(t *testing.T) {
 	f := newExclusionFixture()
 	// The third task has no worker, so neither machine may go down.
-	step := servingStep
+	step := spreadStep
 	step.TaskCount = 3
 	f.submit("a", step)
 	f.advance(clock.Second, "w1", "w2")
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -94,6 +94,8 @@
 
 // pool is the waiting work and the available workers of one pool.
 type pool struct {
+	// workers holds the workers of the pool that have sent a heartbeat in this term.
+	workers map[jobs.WorkerID]*worker
 	// groups holds the groups of waiting tasks. sorted is false if a group was
 	// added since the last sort.
 	groups []*taskGroup
@@ -104,6 +106,9 @@
 	// available holds the workers that are not draining and have a heartbeat
 	// without a reply. Tasks can be assigned only to these.
 	available map[jobs.WorkerID]*worker
+	// reserved holds what the workers reserve for the waiting long-running tasks
+	// that rank before the group being placed. Each pass computes it anew.
+	reserved map[*worker]jobs.Resources
 	// newMilliCoreMillis is the work that has arrived since the last update of
 	// arrivalRate. Its unit is milli-cores times milliseconds, although its type
 	// is clock.Millis.
@@ -158,8 +163,8 @@
 // this term and whose lease has not expired.
 func (s *Scheduler[P, H]) liveWorkers(p *pool, now clock.Millis) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
-		for _, w := range s.workers {
-			if s.pools[w.pool] == p && w.reported && w.leaseUntil >= now && !yield(w) {
+		for _, w := range p.workers {
+			if w.leaseUntil >= now && !yield(w) {
 				return
 			}
 		}
@@ -171,7 +176,8 @@
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{
-			groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{}, history: map[jobs.QueueName]*place.ClassHistory{},
+			workers: map[jobs.WorkerID]*worker{}, groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{},
+			history: map[jobs.QueueName]*place.ClassHistory{},
 		}
 		s.pools[name] = p
 	}
