Blame a job that fails on two workers, not its workers

Cause: updateHealth counted each failure against the worker. Two failures of different jobs in a row were enough, and after a quarantine one, because the count and half of the score stayed. That the same job failed elsewhere too was not known to it.

The failures of a job are now recorded until it ends. Once a task of it has failed on two workers, the job is faulty: what its failures have added to the scores of workers is withdrawn, quarantines that rest on it end, and later failures of it count against no worker. After a quarantine two jobs must fail again; half of the threshold remains as the score. All failures enter the history of the queue, so that those of a queue that fails everywhere soon add little.

TestFailingQueueKeepsWorkers (8 of 8 workers quarantined), TestReturningWorkerIsNotBlamedForJob, TestOneFailureAfterQuarantineIsNotEnough and TestFailureElsewhereEndsQuarantine failed before. TestBrokenWorkerAmongOthersIsQuarantined and TestBrokenWorkerIsQuarantined hold before and after.

--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -1,16 +1,35 @@
 package sched
 
 import (
+	"fmt"
+
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/place"
 )
 
+// quarantineFailedJobs is the number of jobs that must have failed on a worker,
+// without a successful run in between, before it is quarantined.
+const quarantineFailedJobs = 2
+
+// jobFailures is what the failures of a job that has not ended say about the job
+// and about its workers.
+type jobFailures struct {
+	// failedOn holds, for each task that failed and was not completed since, the
+	// worker of its first failure.
+	failedOn map[jobs.TaskID]jobs.WorkerID
+	// scores holds what the job's failures have added to the scores of workers. A
+	// job counts once against each worker.
+	scores map[*worker]float64
+	// faulty is set once a task has failed on two workers. The job's failures then
+	// count against no worker, and scores is empty.
+	faulty bool
+}
+
 // updateHealth updates the worker's failure score with the result of a run,
 // which is compared to the results of the queue's tasks on other workers. It
 // quarantines the worker when the score reaches a threshold and
-// quarantineFailedJobs failures in a row have counted. A failure does not count
-// if the last one that counted on the worker was of the same job, because a job
-// that cannot succeed fails on every worker.
+// quarantineFailedJobs jobs have failed on it in a row.
 func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
 	p := s.pool(w.pool)
 	history := p.history[r.rec.Queue]
@@ -18,29 +37,86 @@
 		history = place.NewClassHistory()
 		p.history[r.rec.Queue] = history
 	}
-	if failed && w.lastFailedJob == r.task.Job {
-		return
-	}
 	id := place.WorkerID(w.id)
-	w.failureScore = max(0, w.failureScore+s.healthPolicy.Score(history.Evidence(id, failed)))
+	score := s.healthPolicy.Score(history.Evidence(id, failed))
 	history.Add(id, failed)
 	if !failed {
-		w.failedJobsInRow = 0
+		w.failureScore = max(0, w.failureScore+score)
+		clear(w.failedJobs)
+		s.forgetFailure(r)
 		return
 	}
-	w.failedJobsInRow++
-	w.lastFailedJob = r.task.Job
-	if w.failureScore >= s.healthPolicy.Threshold() && w.failedJobsInRow >= quarantineFailedJobs && w.quarantinedUntil <= now {
-		w.quarantinedUntil = now + s.settings.QuarantineMillis
-		w.failureScore = s.healthPolicy.Threshold() / 2
-		s.noteRun(DecisionQuarantined, r, w, "its tasks fail although they succeed on other workers")
+	if s.blameWorker(w, r, score, now) && w.failureScore >= s.healthPolicy.Threshold() && len(w.failedJobs) >= quarantineFailedJobs {
+		s.quarantine(w, r, now)
 	}
 }
 
-// quarantineFailedJobs is the number of failures that must count on a worker,
-// without a successful run in between, before it is quarantined. Two successive
-// ones that count are of different jobs.
-const quarantineFailedJobs = 2
+// blameWorker adds the score of a failed run to that of its worker. It returns
+// false if the failure does not count: because the job has counted against the
+// worker already, or because the job itself is faulty. A job is faulty if a task
+// of it fails on two workers; what it has added to the scores of workers is then
+// withdrawn.
+func (s *Scheduler[P, H]) blameWorker(w *worker, r *run, score float64, now clock.Millis) bool {
+	f := s.failures[r.task.Job]
+	if f == nil {
+		f = &jobFailures{failedOn: map[jobs.TaskID]jobs.WorkerID{}, scores: map[*worker]float64{}}
+		s.failures[r.task.Job] = f
+	}
+	first, failedBefore := f.failedOn[r.task]
+	if !failedBefore {
+		f.failedOn[r.task] = w.id
+	} else if first != w.id && !f.faulty {
+		f.faulty = true
+		s.withdrawBlame(r.task.Job, f, now)
+	}
+	if _, counted := f.scores[w]; counted || f.faulty {
+		return false
+	}
+	f.scores[w] = score
+	w.failureScore += score
+	w.failedJobs[r.task.Job] = true
+	return true
+}
+
+// forgetFailure removes the record of the failures of a task that has succeeded.
+// What they have added to the score of a worker remains.
+func (s *Scheduler[P, H]) forgetFailure(r *run) {
+	if f := s.failures[r.task.Job]; f != nil {
+		delete(f.failedOn, r.task)
+	}
+}
+
+// withdrawBlame subtracts what a faulty job has added to the scores of workers,
+// and ends the quarantine of those whose score is then below the threshold.
+func (s *Scheduler[P, H]) withdrawBlame(job jobs.ID, f *jobFailures, now clock.Millis) {
+	for w, score := range f.scores {
+		w.failureScore = max(0, w.failureScore-score)
+		delete(w.failedJobs, job)
+		if w.quarantinedUntil > now && w.failureScore < s.healthPolicy.Threshold() {
+			s.endQuarantine(w)
+		}
+	}
+	clear(f.scores)
+}
+
+// quarantine keeps new tasks off a worker for a time, unless it is quarantined.
+func (s *Scheduler[P, H]) quarantine(w *worker, r *run, now clock.Millis) {
+	if w.quarantinedUntil > now {
+		return
+	}
+	w.quarantinedUntil = now + s.settings.QuarantineMillis
+	s.noteRun(DecisionQuarantined, r, w, fmt.Sprintf("%d jobs in a row failed on it and are not known to fail elsewhere; score %.1f", len(w.failedJobs), w.failureScore))
+}
+
+// endQuarantine lets a worker get tasks again. Half of the threshold remains as
+// its score, so that a worker that is still faulty is recognized sooner, but as
+// many jobs as for the first quarantine must fail on it.
+func (s *Scheduler[P, H]) endQuarantine(w *worker) {
+	w.quarantinedUntil = 0
+	w.failureScore = min(w.failureScore, s.healthPolicy.Threshold()/2)
+	clear(w.failedJobs)
+	s.dirtyPools[s.pool(w.pool)] = true
+}
 
 // stopStalledRuns stops the worker's tasks that make no progress, so that they
 // start elsewhere, and quarantines the worker if there are any.
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -30,12 +30,15 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
+		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, failedJobs: map[jobs.ID]bool{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
 		s.workers[h.Worker] = w
 		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 	}
 	s.updateWorker(w, h, now)
 	s.removeStarted(h)
+	if w.quarantinedUntil > 0 && w.quarantinedUntil <= now {
+		s.endQuarantine(w)
+	}
 	ack := s.handleRunEnds(w, h, now)
 	s.updateRuns(w, h, now)
 	s.machineArrived(w)
@@ -135,7 +138,7 @@
 		}
 		s.noteRun(DecisionEnded, r, w, reason)
 	}
-	if result == jobs.ResultDone || result == jobs.ResultFailed {
+	if (result == jobs.ResultDone || result == jobs.ResultFailed) && !previousStatus.Final() {
 		s.updateHealth(w, r, result == jobs.ResultFailed, now)
 	}
 	if result == jobs.ResultRefused {
--- /dev/null
+++ b/core/state/sched/quarantine_test.go
@@ -0,0 +1,195 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// roundMillis is the time between two heartbeats of a worker in these tests.
+const roundMillis clock.Millis = 100
+
+// poolFixture is a fixture with several workers, each of which runs its tasks for
+// one round.
+type poolFixture struct {
+	*fixture
+	workers []string
+	orders  map[string]Orders
+	// endNumbers holds the number of run ends that each worker has reported.
+	endNumbers map[string]int64
+}
+
+func newPoolFixture(workers int) *poolFixture {
+	f := &poolFixture{fixture: newFixture(Defaults()), orders: map[string]Orders{}, endNumbers: map[string]int64{}}
+	for n := range workers {
+		f.workers = append(f.workers, fmt.Sprintf("w%d", n))
+	}
+	return f
+}
+
+// round lets all workers send a heartbeat that reports the end of the tasks that
+// they were ordered to start in the round before. result decides how a task ends.
+func (f *poolFixture) round(result func(worker string, t jobs.TaskID) jobs.Result) {
+	f.now += roundMillis
+	for _, id := range f.workers {
+		var ends []RunEnd
+		for _, s := range f.orders[id].Starts {
+			f.endNumbers[id]++
+			ends = append(ends, RunEnd{Number: f.endNumbers[id], Task: s.Task, Run: s.Run, Result: result(id, s.Task)})
+		}
+		f.heartbeat(id, 1, nil, ends...)
+	}
+	plan := f.Pass(f.now)
+	for _, id := range f.workers {
+		f.orders[id] = ordersFor(plan, id)
+	}
+}
+
+// submitTo submits a job with one small task to a queue of the pool.
+func (f *poolFixture) submitTo(queue jobs.QueueName, id string) {
+	f.Submit(jobs.Job{
+		ID: jobs.ID(id), Queue: queue, Pool: "p", MaxAttempts: 3, Target: 3000, StretchPermille: 1500,
+		Steps: []jobs.Step{{TaskCount: 1, Resources: jobs.Resources{MilliCores: 4000, MemoryMiB: 100}, Estimate: 100}},
+	}, f.now)
+}
+
+func (f *poolFixture) quarantined() []string {
+	var out []string
+	for _, id := range f.workers {
+		if f.fixture.workers[jobs.WorkerID(id)].quarantinedUntil > f.now {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// failsIn returns the results of tasks where those of the given queue fail on
+// every worker and all others succeed.
+func (f *poolFixture) failsIn(queue jobs.QueueName) func(string, jobs.TaskID) jobs.Result {
+	return func(_ string, t jobs.TaskID) jobs.Result {
+		if f.State.Jobs[t.Job].Queue == queue {
+			return jobs.ResultFailed
+		}
+		return jobs.ResultDone
+	}
+}
+
+// TestFailingQueueKeepsWorkers guards against jobs that fail on every worker and
+// get all workers of their pool quarantined, so that the other jobs of the pool
+// wait.
+func TestFailingQueueKeepsWorkers(t *testing.T) {
+	const workers, rounds = 8, 100
+	f := newPoolFixture(workers)
+	most := 0
+	for n := range rounds {
+		for k := range 6 {
+			f.submitTo("failing", fmt.Sprintf("bad-%d-%d", n, k))
+		}
+		f.submitTo("q", fmt.Sprintf("good-%d", n))
+		f.round(f.failsIn("failing"))
+		most = max(most, len(f.quarantined()))
+	}
+	// A few failures at the start look like faults of the workers, because
+	// nothing is known of the queue.
+	assert.Assert(t, most <= workers*25/100, "%d of %d workers are quarantined", most, workers)
+	assert.Equal(t, len(f.quarantined()), 0)
+}
+
+// TestReturningWorkerIsNotBlamedForJob guards against a worker that is quarantined
+// again, after its quarantine has ended, because of a job that had failed on
+// another worker before.
+func TestReturningWorkerIsNotBlamedForJob(t *testing.T) {
+	f := newPoolFixture(1)
+	for _, id := range []string{"a", "b", "c"} {
+		f.submitTo("q", id)
+	}
+	fails := func(string, jobs.TaskID) jobs.Result { return jobs.ResultFailed }
+	f.round(fails)
+	f.round(fails)
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	for _, id := range []string{"a", "b", "c"} {
+		f.Cancel(jobs.ID(id), f.now)
+	}
+	f.now += f.settings.QuarantineMillis
+
+	// The job fails on w1, then on w0.
+	f.workers = []string{"w1"}
+	f.submitTo("q", "d")
+	f.round(fails)
+	assert.Equal(t, len(f.orders["w1"].Starts), 1)
+	f.round(fails)
+	f.workers = []string{"w0"}
+	f.round(fails)
+	assert.Equal(t, len(f.orders["w0"].Starts), 1)
+	f.round(fails)
+	assert.Equal(t, len(f.quarantined()), 0)
+}
+
+// TestOneFailureAfterQuarantineIsNotEnough guards against a worker that is
+// quarantined for good by single failures of jobs, because what led to its first
+// quarantine counts again.
+func TestOneFailureAfterQuarantineIsNotEnough(t *testing.T) {
+	f := newPoolFixture(1)
+	fails := func(string, jobs.TaskID) jobs.Result { return jobs.ResultFailed }
+	for _, id := range []string{"a", "b"} {
+		f.submitTo("q", id)
+	}
+	f.round(fails)
+	f.round(fails)
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	for _, id := range []string{"a", "b"} {
+		f.Cancel(jobs.ID(id), f.now)
+	}
+	f.now += f.settings.QuarantineMillis
+	f.submitTo("q", "c")
+	f.round(fails)
+	assert.Equal(t, len(f.orders["w0"].Starts), 1)
+	f.round(fails)
+	assert.Equal(t, len(f.quarantined()), 0)
+}
+
+// TestFailureElsewhereEndsQuarantine guards against a worker that stays
+// quarantined because of jobs that then fail on another worker too, and against
+// the quarantine of that other worker.
+func TestFailureElsewhereEndsQuarantine(t *testing.T) {
+	f := newPoolFixture(1)
+	fails := func(string, jobs.TaskID) jobs.Result { return jobs.ResultFailed }
+	for _, id := range []string{"a", "b", "c"} {
+		f.submitTo("q", id)
+	}
+	f.round(fails)
+	f.round(fails)
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	f.workers = []string{"w0", "w1"}
+	f.round(fails)
+	assert.Equal(t, len(f.orders["w1"].Starts), 3)
+	f.round(fails)
+	assert.Equal(t, len(f.quarantined()), 0)
+}
+
+// TestBrokenWorkerAmongOthersIsQuarantined guards against a worker on which every
+// task fails and that keeps getting tasks, or another worker that is quarantined.
+func TestBrokenWorkerAmongOthersIsQuarantined(t *testing.T) {
+	const workers = 8
+	f := newPoolFixture(workers)
+	broken := func(worker string, _ jobs.TaskID) jobs.Result {
+		if worker == "w3" {
+			return jobs.ResultFailed
+		}
+		return jobs.ResultDone
+	}
+	failures := 0
+	for n := range 20 {
+		for k := range 2 * workers {
+			f.submitTo("q", fmt.Sprintf("job-%d-%d", n, k))
+		}
+		failures += len(f.orders["w3"].Starts)
+		f.round(broken)
+	}
+	assert.DeepEqual(t, f.quarantined(), []string{"w3"})
+	assert.Assert(t, failures <= 8, "%d runs failed before the quarantine", failures)
+}
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -28,7 +28,9 @@
 	// lastFailedOn holds, for each task whose latest ended run failed, the worker
 	// of that run.
 	lastFailedOn map[jobs.TaskID]jobs.WorkerID
-	pools        map[jobs.PoolName]*pool
+	// failures holds the failures of the jobs that have not ended.
+	failures map[jobs.ID]*jobFailures
+	pools    map[jobs.PoolName]*pool
 	// poolByQueue maps the configured queues to their pools.
 	poolByQueue map[jobs.QueueName]jobs.PoolName
 	// configVersion is the version of the configuration that poolByQueue and
@@ -123,11 +125,6 @@
 	// ordered; from then on the worker's tasks count as unavailable.
 	cordoned  bool
 	goingDown bool
-	// failedJobsInRow is the number of failures on this worker since the last
-	// successful run on it. Successive failures of one job count once.
-	// lastFailedJob is the job of the latest failure; a success does not clear it.
-	failedJobsInRow int
-	lastFailedJob   jobs.ID
 	// vacating keeps new tasks off a worker whose machine another pool needs.
 	// The machine is moved once the running tasks have ended.
 	vacating bool
@@ -137,9 +134,12 @@
 	// idleSince is when updatePoolLoads first found that the worker runs
 	// nothing; 0 if it runs something.
 	idleSince clock.Millis
-	// failureScore measures the evidence that the worker itself is faulty. The
-	// worker is quarantined until quarantinedUntil.
+	// failureScore measures the evidence that the worker itself is faulty.
+	// failedJobs holds the jobs whose failures count against the worker, since
+	// its latest successful run and its latest quarantine. The worker is
+	// quarantined until quarantinedUntil; 0 if it is not.
 	failureScore     float64
+	failedJobs       map[jobs.ID]bool
 	quarantinedUntil clock.Millis
 }
 
@@ -193,7 +193,7 @@
 		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
-		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, lastFailedOn: map[jobs.TaskID]jobs.WorkerID{},
+		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, lastFailedOn: map[jobs.TaskID]jobs.WorkerID{}, failures: map[jobs.ID]*jobFailures{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{},
 	}
 	s.readConfig()
@@ -215,7 +215,7 @@
 		w := s.workers[state.Worker]
 		if w == nil || w.incarnation < state.Incarnation {
 			w = &worker{
-				id: state.Worker, incarnation: state.Incarnation, pool: rec.Pool, runs: map[jobs.TaskID]*run{},
+				id: state.Worker, incarnation: state.Incarnation, pool: rec.Pool, runs: map[jobs.TaskID]*run{}, failedJobs: map[jobs.ID]bool{},
 				leaseUntil: now + s.maxLease(), speed: unknownSpeed(),
 			}
 			s.workers[state.Worker] = w
@@ -306,11 +306,13 @@
 
 // noteJobEnd adds a note on the end of a job: how long it took, by how much it
 // was late if it completed, and how many runs it had and how many of them
-// failed. It also drops the job's advice and removes it from the pending jobs.
+// failed. It also drops the job's advice and failures and removes it from the
+// pending jobs.
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
 	delete(s.pending, rec.ID)
+	delete(s.failures, rec.ID)
 	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
 	if lateness > 0 && rec.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", lateness)
