Bound the share of quarantined workers of a pool

MaxQuarantinedPercent bounds the share, as in core/state/place, but counts only the workers of the pool that otherwise get tasks, so that draining and cordoned ones do not raise it. One worker may always be quarantined. At the bound, the workers with the highest scores are quarantined, so that a broken one is not left in service for the sake of weaker cases. The only usable worker of a pool is quarantined for MoveMillis, the time that another machine needs to join: no other worker can take its work meanwhile.

--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
@@ -99,15 +101,51 @@
 	clear(f.scores)
 }
 
-// quarantine keeps new tasks off a worker for a time, unless it is quarantined.
+// quarantine keeps new tasks off a worker for a time. If MaxQuarantinedPercent of
+// the pool's workers are quarantined already, it does so only if the worker has a
+// higher score than one of these, whose quarantine then ends. The quarantine of
+// the only usable worker of a pool is limited to the time in which another machine
+// can be moved to the pool.
 func (s *Scheduler[P, H]) quarantine(w *worker, r *run, now clock.Millis) {
 	if w.quarantinedUntil > now {
 		return
 	}
-	w.quarantinedUntil = now + s.settings.QuarantineMillis
+	usable, quarantined := s.countQuarantined(s.pool(w.pool), now)
+	if len(quarantined) >= max(1, usable*s.settings.MaxQuarantinedPercent/100) {
+		weakest := slices.MinFunc(quarantined, compareScores)
+		if w.failureScore <= weakest.failureScore {
+			return
+		}
+		s.endQuarantine(weakest)
+	}
+	duration := s.settings.QuarantineMillis
+	if usable <= 1 {
+		duration = min(duration, s.settings.MoveMillis)
+	}
+	w.quarantinedUntil = now + duration
 	s.noteRun(DecisionQuarantined, r, w, fmt.Sprintf("%d jobs in a row failed on it and are not known to fail elsewhere; score %.1f", len(w.failedJobs), w.failureScore))
 }
 
+// countQuarantined returns the number of workers of a pool that get tasks while
+// they are not quarantined, and those of them that are quarantined.
+func (s *Scheduler[P, H]) countQuarantined(p *pool, now clock.Millis) (usable int, quarantined []*worker) {
+	for w := range s.liveWorkers(p, now) {
+		if w.draining || w.cordoned || w.goingDown {
+			continue
+		}
+		usable++
+		if w.quarantinedUntil > now {
+			quarantined = append(quarantined, w)
+		}
+	}
+	return usable, quarantined
+}
+
+// compareScores orders workers by their failure score, then by ID.
+func compareScores(a, b *worker) int {
+	return cmp.Or(cmp.Compare(a.failureScore, b.failureScore), cmp.Compare(a.id, b.id))
+}
+
 // endQuarantine lets a worker get tasks again. Half of the threshold remains as
 // its score, so that a worker that is still faulty is recognized sooner, but as
 // many jobs as for the first quarantine must fail on it.
--- a/core/state/sched/quarantine_test.go
+++ b/core/state/sched/quarantine_test.go
@@ -95,7 +95,7 @@
 	}
 	// A few failures at the start look like faults of the workers, because
 	// nothing is known of the queue.
-	assert.Assert(t, most <= workers*25/100, "%d of %d workers are quarantined", most, workers)
+	assert.Assert(t, most <= workers*f.settings.MaxQuarantinedPercent/100, "%d of %d workers are quarantined", most, workers)
 	assert.Equal(t, len(f.quarantined()), 0)
 }
 
@@ -193,3 +193,56 @@
 	assert.DeepEqual(t, f.quarantined(), []string{"w3"})
 	assert.Assert(t, failures <= 8, "%d runs failed before the quarantine", failures)
 }
+
+// failJobs lets a number of jobs fail on a worker, each of them once. They are of a
+// queue of which nothing is known.
+func (f *poolFixture) failJobs(worker string, n int) {
+	w := f.fixture.workers[jobs.WorkerID(worker)]
+	for k := range n {
+		id := jobs.ID(fmt.Sprintf("%s-%d-%d", worker, f.now, k))
+		f.submitTo(jobs.QueueName("queue-"+worker), string(id))
+		rec := f.State.Jobs[id]
+		f.updateHealth(w, &run{task: jobs.TaskID{Job: id}, number: 1, rec: rec, step: &rec.Steps[0]}, true, f.now)
+	}
+}
+
+// TestQuarantineIsBounded guards against a pool without usable workers: even if
+// jobs fail on each of its workers, only MaxQuarantinedPercent of them may be
+// quarantined, and these are the workers on which the most jobs failed.
+func TestQuarantineIsBounded(t *testing.T) {
+	f := newPoolFixture(8)
+	f.round(nil)
+	for n, failedJobs := range []int{2, 4, 2, 3, 2, 2, 2, 2} {
+		f.failJobs(f.workers[n], failedJobs)
+	}
+	assert.DeepEqual(t, f.quarantined(), []string{"w1", "w3"})
+	assert.Equal(t, f.settings.MaxQuarantinedPercent, 25)
+}
+
+// TestOnlyWorkerIsQuarantinedBriefly guards against work that waits for the whole
+// quarantine of a pool's only worker, although no other one can take it.
+func TestOnlyWorkerIsQuarantinedBriefly(t *testing.T) {
+	f := newPoolFixture(1)
+	f.round(nil)
+	f.failJobs("w0", 2)
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	f.now += f.settings.MoveMillis
+	assert.Equal(t, len(f.quarantined()), 0)
+}
+
+// TestLeavingWorkersDoNotRaiseBound guards against the quarantine of the last
+// usable workers of a pool while others drain or are to be maintained.
+func TestLeavingWorkersDoNotRaiseBound(t *testing.T) {
+	f := newPoolFixture(8)
+	f.round(nil)
+	for _, id := range f.workers[4:6] {
+		f.fixture.workers[jobs.WorkerID(id)].draining = true
+	}
+	for _, id := range f.workers[6:] {
+		f.fixture.workers[jobs.WorkerID(id)].cordoned = true
+	}
+	for _, id := range f.workers[:4] {
+		f.failJobs(id, 2)
+	}
+	assert.Equal(t, len(f.quarantined()), 1)
+}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -42,6 +42,11 @@
 	// QuarantineMillis is how long a worker on which tasks fail or stall gets
 	// no new tasks.
 	QuarantineMillis clock.Millis
+	// MaxQuarantinedPercent is the largest share of a pool's workers that are
+	// quarantined at once, but one always may be. It is well below half, so that
+	// work that waits finds a worker while less than half of the pool's capacity
+	// is in use.
+	MaxQuarantinedPercent int
 	// StallMillis plus a quarter of its estimate is how long a task may make no
 	// progress before it is stopped and started elsewhere.
 	StallMillis clock.Millis
@@ -51,7 +56,7 @@
 func Defaults() Settings {
 	return Settings{
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxReplyDelayMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
-		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second,
+		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second, MaxQuarantinedPercent: 25,
 		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, ReserveMachines: 2,
 		StallMillis: 1500,
 	}
