Judge stalled runs like failed ones, and log the quarantine

It now blames the job or the worker as updateHealth does. One stall still quarantines the worker at once, because it takes long to notice. The runs are visited in order, so that the decisions do not depend on the order of a map.

TestStallIsNoted, TestStallsQuarantineNoPool (8 of 8 workers) and TestJobThatStallsElsewhereIsBlamed failed before.

--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -17,14 +17,14 @@
 // jobFailures is what the failures of a job that has not ended say about the job
 // and about its workers.
 type jobFailures struct {
-	// failedOn holds, for each task that failed and was not completed since, the
-	// worker of its first failure.
+	// failedOn holds, for each task that failed or stalled and was not completed
+	// since, the worker on which it first did.
 	failedOn map[jobs.TaskID]jobs.WorkerID
 	// scores holds what the job's failures have added to the scores of workers. A
 	// job counts once against each worker.
 	scores map[*worker]float64
-	// faulty is set once a task has failed on two workers. The job's failures then
-	// count against no worker, and scores is empty.
+	// faulty is set once a task has failed or stalled on two workers. The job's
+	// failures then count against no worker, and scores is empty.
 	faulty bool
 }
 
@@ -49,15 +49,15 @@
 		return
 	}
 	if s.blameWorker(w, r, score, now) && w.failureScore >= s.healthPolicy.Threshold() && len(w.failedJobs) >= quarantineFailedJobs {
-		s.quarantine(w, r, now)
+		s.quarantine(w, r, fmt.Sprintf("%d jobs in a row failed on it and are not known to fail elsewhere; score %.1f", len(w.failedJobs), w.failureScore), now)
 	}
 }
 
-// blameWorker adds the score of a failed run to that of its worker. It returns
-// false if the failure does not count: because the job has counted against the
-// worker already, or because the job itself is faulty. A job is faulty if a task
-// of it fails on two workers; what it has added to the scores of workers is then
-// withdrawn.
+// blameWorker adds the score of a failed or stalled run to that of its worker. It
+// returns false if that does not count: because the job has counted against the
+// worker already, or because the job itself is faulty. A job is faulty if a task of
+// it fails or stalls on two workers; what it has added to the scores of workers is
+// then withdrawn.
 func (s *Scheduler[P, H]) blameWorker(w *worker, r *run, score float64, now clock.Millis) bool {
 	f := s.failures[r.task.Job]
 	if f == nil {
@@ -106,7 +106,7 @@
 // higher score than one of these, whose quarantine then ends. The quarantine of
 // the only usable worker of a pool is limited to the time in which another machine
 // can be moved to the pool.
-func (s *Scheduler[P, H]) quarantine(w *worker, r *run, now clock.Millis) {
+func (s *Scheduler[P, H]) quarantine(w *worker, r *run, reason string, now clock.Millis) {
 	if w.quarantinedUntil > now {
 		return
 	}
@@ -123,7 +123,7 @@
 		duration = min(duration, s.settings.MoveMillis)
 	}
 	w.quarantinedUntil = now + duration
-	s.noteRun(DecisionQuarantined, r, w, fmt.Sprintf("%d jobs in a row failed on it and are not known to fail elsewhere; score %.1f", len(w.failedJobs), w.failureScore))
+	s.noteRun(DecisionQuarantined, r, w, reason)
 }
 
 // countQuarantined returns the number of workers of a pool that get tasks while
@@ -157,9 +157,11 @@
 }
 
 // stopStalledRuns stops the worker's tasks that make no progress, so that they
-// start elsewhere, and quarantines the worker if there are any.
+// start elsewhere. It quarantines the worker at once, because each stall takes
+// long to notice, unless the job is known to fail or stall elsewhere.
 func (s *Scheduler[P, H]) stopStalledRuns(w *worker, now clock.Millis) {
-	for _, r := range w.runs {
+	for _, id := range sortedTaskIDs(w.runs) {
+		r := w.runs[id]
 		// A best-effort task may stall because other tasks use all processor
 		// time.
 		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
@@ -167,8 +169,9 @@
 		}
 		if now-r.progressedAt > s.settings.StallMillis+r.step.Estimate/4 {
 			s.stopRun(w, r, "it makes no progress")
-			w.failureScore = max(w.failureScore, s.healthPolicy.Threshold()/2)
-			w.quarantinedUntil = max(w.quarantinedUntil, now+s.settings.QuarantineMillis)
+			if s.blameWorker(w, r, s.healthPolicy.Threshold(), now) {
+				s.quarantine(w, r, "a task on it makes no progress and is not known to fail elsewhere", now)
+			}
 		}
 	}
 }
--- a/core/state/sched/quarantine_test.go
+++ b/core/state/sched/quarantine_test.go
@@ -19,6 +19,8 @@
 	*fixture
 	workers []string
 	orders  map[string]Orders
+	// notes holds the notes of the passes in stall.
+	notes []Note
 	// endNumbers holds the number of run ends that each worker has reported.
 	endNumbers map[string]int64
 }
@@ -246,3 +248,80 @@
 	}
 	assert.Equal(t, len(f.quarantined()), 1)
 }
+
+// stall lets every worker report, until now has passed the limit for tasks without
+// progress, that the tasks it was ordered to start make none.
+func (f *poolFixture) stall() {
+	running := map[string][]RunStatus{}
+	for id, o := range f.orders {
+		for _, s := range o.Starts {
+			running[id] = append(running[id], RunStatus{Task: s.Task, Run: s.Run})
+		}
+	}
+	for range 2 {
+		for _, id := range f.workers {
+			f.heartbeat(id, 1, running[id])
+		}
+		f.notes = append(f.notes, f.Pass(f.now).Notes...)
+		f.now += f.settings.StallMillis + clock.Second
+	}
+	f.now -= f.settings.StallMillis + clock.Second
+}
+
+// endStopped lets a worker report that it has stopped the tasks that it was
+// ordered to start.
+func (f *poolFixture) endStopped(id string) {
+	var ends []RunEnd
+	for _, s := range f.orders[id].Starts {
+		f.endNumbers[id]++
+		ends = append(ends, RunEnd{Number: f.endNumbers[id], Task: s.Task, Run: s.Run, Result: jobs.ResultStopped})
+	}
+	f.heartbeat(id, 1, nil, ends...)
+}
+
+// TestStallIsNoted guards against a worker that is quarantined, because a task on
+// it makes no progress, without a line in the log that says so.
+func TestStallIsNoted(t *testing.T) {
+	f := newPoolFixture(1)
+	f.submitTo("q", "a")
+	f.round(nil)
+	f.stall()
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	noted := 0
+	for _, n := range f.notes {
+		if n.Decision == DecisionQuarantined && n.Worker == "w0" {
+			noted++
+		}
+	}
+	assert.Equal(t, noted, 1)
+}
+
+// TestStallsQuarantineNoPool guards against a pool without usable workers because
+// each of them runs a task that makes no progress.
+func TestStallsQuarantineNoPool(t *testing.T) {
+	f := newPoolFixture(8)
+	for k := range 4 * len(f.workers) {
+		f.submitTo("q", fmt.Sprintf("job-%d", k))
+	}
+	f.round(nil)
+	f.stall()
+	assert.Equal(t, len(f.quarantined()), 2)
+}
+
+// TestJobThatStallsElsewhereIsBlamed guards against a job that makes no progress on
+// any worker and gets one worker after the other quarantined.
+func TestJobThatStallsElsewhereIsBlamed(t *testing.T) {
+	f := newPoolFixture(1)
+	f.submitTo("q", "a")
+	f.round(nil)
+	f.stall()
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	f.endStopped("w0")
+	f.workers = []string{"w1"}
+	f.round(nil)
+	assert.Equal(t, len(f.orders["w1"].Starts), 1)
+	f.orders["w0"] = Orders{}
+	f.stall()
+	f.workers = []string{"w0", "w1"}
+	assert.Equal(t, len(f.quarantined()), 0)
+}
