Leave long-running tasks out of the health of workers

A long-running task may fail at any time by itself and never succeeds. Its failures added to the score of its worker without a success that could lower it, and the history of its queue held failures only.

Runs of long-running tasks no longer count. Weighed: counting one that served for some time as a success. A worker that is broken shows it by its finite tasks, and a long-running task that failed starts on another worker first.

TestFailuresOfLongRunningTasksDoNotCount failed before.

--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -31,8 +31,12 @@
 // updateHealth updates the worker's failure score with the result of a run,
 // which is compared to the results of the queue's tasks on other workers. It
 // quarantines the worker when the score reaches a threshold and
-// quarantineFailedJobs jobs have failed on it in a row.
+// quarantineFailedJobs jobs have failed on it in a row. Runs of long-running tasks
+// do not count: they may fail at any time, and none succeeds.
 func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
+	if r.step.LongRunning {
+		return
+	}
 	p := s.pool(w.pool)
 	history := p.history[r.rec.Queue]
 	if history == nil {
--- a/core/state/sched/quarantine_test.go
+++ b/core/state/sched/quarantine_test.go
@@ -325,3 +325,16 @@
 	f.workers = []string{"w0", "w1"}
 	assert.Equal(t, len(f.quarantined()), 0)
 }
+
+// TestFailuresOfLongRunningTasksDoNotCount guards against the quarantine of
+// workers because of long-running tasks, which fail at any time but never succeed.
+func TestFailuresOfLongRunningTasksDoNotCount(t *testing.T) {
+	f := newPoolFixture(1)
+	for k := range 3 {
+		f.submit(fmt.Sprintf("serve-%d", k), jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 100, MemoryMiB: 100}, LongRunning: true})
+	}
+	f.round(nil)
+	assert.Equal(t, len(f.orders["w0"].Starts), 3)
+	f.round(func(string, jobs.TaskID) jobs.Result { return jobs.ResultFailed })
+	assert.Equal(t, len(f.quarantined()), 0)
+}
