Blame both workers if a job succeeds on a third

With two broken workers in a pool, a task that failed on both made its job count as faulty, so that what it said about the workers was withdrawn, even if it then succeeded on a third worker.

If the task that made a job faulty succeeds later, what was withdrawn is added again. The end of a quarantine by withdrawal takes away only what was withdrawn; before, it cleared what other jobs had shown.

--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -20,12 +20,13 @@
 	// failedOn holds, for each task that failed or stalled and was not completed
 	// since, the worker on which it first did.
 	failedOn map[jobs.TaskID]jobs.WorkerID
-	// scores holds what the job's failures have added to the scores of workers. A
-	// job counts once against each worker.
+	// scores holds what the job's failures add to the scores of workers, unless the
+	// job is faulty. A job counts once against each worker.
 	scores map[*worker]float64
-	// faulty is set once a task has failed or stalled on two workers. The job's
-	// failures then count against no worker, and scores is empty.
-	faulty bool
+	// faulty is set once a task has failed or stalled on two workers, and cleared if that
+	// task, faultyTask, succeeds later.
+	faulty     bool
+	faultyTask jobs.TaskID
 }
 
 // updateHealth updates the worker's failure score with the result of a run,
@@ -49,7 +50,7 @@
 	if !failed {
 		w.failureScore = max(0, w.failureScore+score)
 		clear(w.failedJobs)
-		s.forgetFailure(r)
+		s.taskSucceeded(r)
 		return
 	}
 	if s.blameWorker(w, r, score, now) && w.failureScore >= s.healthPolicy.Threshold() && len(w.failedJobs) >= quarantineFailedJobs {
@@ -72,23 +73,37 @@
 	if !failedBefore {
 		f.failedOn[r.task] = w.id
 	} else if first != w.id && !f.faulty {
-		f.faulty = true
+		f.faulty, f.faultyTask = true, r.task
 		s.withdrawBlame(r.task.Job, f, now)
 	}
-	if _, counted := f.scores[w]; counted || f.faulty {
+	if _, counted := f.scores[w]; counted {
 		return false
 	}
 	f.scores[w] = score
+	if f.faulty {
+		return false
+	}
 	w.failureScore += score
 	w.failedJobs[r.task.Job] = true
 	return true
 }
 
-// forgetFailure removes the record of the failures of a task that has succeeded.
-// What they have added to the score of a worker remains.
-func (s *Scheduler[P, H]) forgetFailure(r *run) {
-	if f := s.failures[r.task.Job]; f != nil {
-		delete(f.failedOn, r.task)
+// taskSucceeded forgets the failures of a task. What they have added to the scores
+// of workers remains. If they made the job count as faulty, it no longer does, and
+// what was withdrawn because of them is added again.
+func (s *Scheduler[P, H]) taskSucceeded(r *run) {
+	f := s.failures[r.task.Job]
+	if f == nil {
+		return
+	}
+	delete(f.failedOn, r.task)
+	if !f.faulty || f.faultyTask != r.task {
+		return
+	}
+	f.faulty = false
+	for w, score := range f.scores {
+		w.failureScore += score
+		w.failedJobs[r.task.Job] = true
 	}
 }
 
@@ -99,10 +114,9 @@
 		w.failureScore = max(0, w.failureScore-score)
 		delete(w.failedJobs, job)
 		if w.quarantinedUntil > now && w.failureScore < s.healthPolicy.Threshold() {
-			s.endQuarantine(w)
+			s.release(w)
 		}
 	}
-	clear(f.scores)
 }
 
 // quarantine keeps new tasks off a worker for a time. If MaxQuarantinedPercent of
@@ -150,13 +164,18 @@
 	return cmp.Or(cmp.Compare(a.failureScore, b.failureScore), cmp.Compare(a.id, b.id))
 }
 
-// endQuarantine lets a worker get tasks again. Half of the threshold remains as
+// endQuarantine ends a worker's quarantine. Half of the threshold remains as
 // its score, so that a worker that is still faulty is recognized sooner, but as
 // many jobs as for the first quarantine must fail on it.
 func (s *Scheduler[P, H]) endQuarantine(w *worker) {
-	w.quarantinedUntil = 0
+	s.release(w)
 	w.failureScore = min(w.failureScore, s.healthPolicy.Threshold()/2)
 	clear(w.failedJobs)
+}
+
+// release lets a quarantined worker get tasks again.
+func (s *Scheduler[P, H]) release(w *worker) {
+	w.quarantinedUntil = 0
 	s.dirtyPools[s.pool(w.pool)] = true
 }
 
--- a/core/state/sched/quarantine_test.go
+++ b/core/state/sched/quarantine_test.go
@@ -196,6 +196,36 @@
 	assert.Assert(t, failures <= 8, "%d runs failed before the quarantine", failures)
 }
 
+// TestSuccessElsewhereBlamesBothWorkers guards against two broken workers that are
+// not quarantined, because each job that fails on one of them fails on the other
+// too before it succeeds on a third.
+func TestSuccessElsewhereBlamesBothWorkers(t *testing.T) {
+	f := newPoolFixture(3)
+	broken := func(worker string, _ jobs.TaskID) jobs.Result {
+		if worker == "w2" {
+			return jobs.ResultDone
+		}
+		return jobs.ResultFailed
+	}
+	all := f.workers
+	for k := range 3 {
+		// The job fails on w0, then on w1, and succeeds on w2.
+		f.submitTo("q", fmt.Sprintf("job-%d", k))
+		for _, id := range all {
+			f.workers = []string{id}
+			f.round(broken)
+			assert.Equal(t, len(f.orders[id].Starts), 1)
+			f.round(broken)
+			f.Pass(f.now + f.settings.MaxReplyDelayMillis)
+		}
+	}
+	f.workers = all
+	assert.DeepEqual(t, f.quarantined(), []string{"w0"})
+	// At most one of three workers may be quarantined, so w1 is not.
+	w1 := f.fixture.workers["w1"]
+	assert.Assert(t, w1.failureScore >= f.healthPolicy.Threshold() && len(w1.failedJobs) == 3, "score %.1f, %d jobs", w1.failureScore, len(w1.failedJobs))
+}
+
 // failJobs lets a number of jobs fail on a worker, each of them once. They are of a
 // queue of which nothing is known.
 func (f *poolFixture) failJobs(worker string, n int) {
