--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -6,7 +6,6 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
-	"camphorridge/core/state/place"
 )
 
 // Heartbeat processes a heartbeat; the reply is part of a later plan. It
@@ -31,12 +30,15 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
+		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, failedJobs: map[jobs.ID]bool{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
 		s.workers[h.Worker] = w
 		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 	}
 	s.updateWorker(w, h, now)
 	s.removeStarted(h)
+	if w.quarantinedUntil > 0 && w.quarantinedUntil <= now {
+		s.endQuarantine(w)
+	}
 	ack := s.handleRunEnds(w, h, now)
 	s.updateRuns(w, h, now)
 	s.machineArrived(w)
@@ -138,7 +140,7 @@
 		}
 		s.noteRun(DecisionEnded, r, w, reason)
 	}
-	if result == jobs.ResultDone || result == jobs.ResultFailed {
+	if (result == jobs.ResultDone || result == jobs.ResultFailed) && !previousStatus.Final() {
 		s.updateHealth(w, r, result == jobs.ResultFailed, now)
 	}
 	// A refusal of a ticket keeps the task off the worker until there is a new one.
@@ -350,43 +352,6 @@
 	s.clearUnassigned(w)
 }
 
-// updateHealth updates the worker's failure score with the result of a run,
-// which is compared to the results of the queue's tasks on other workers. It
-// quarantines the worker when the score reaches a threshold and
-// quarantineFailedJobs failures in a row have counted. A failure does not count
-// if the last one that counted on the worker was of the same job, because a job
-// that cannot succeed fails on every worker.
-func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
-	p := s.pool(w.pool)
-	history := p.history[r.rec.Queue]
-	if history == nil {
-		history = place.NewClassHistory()
-		p.history[r.rec.Queue] = history
-	}
-	if failed && w.lastFailedJob == r.task.Job {
-		return
-	}
-	id := place.WorkerID(w.id)
-	w.failureScore = max(0, w.failureScore+s.healthPolicy.Score(history.Evidence(id, failed)))
-	history.Add(id, failed)
-	if !failed {
-		w.failedJobsInRow = 0
-		return
-	}
-	w.failedJobsInRow++
-	w.lastFailedJob = r.task.Job
-	if w.failureScore >= s.healthPolicy.Threshold() && w.failedJobsInRow >= quarantineFailedJobs && w.quarantinedUntil <= now {
-		w.quarantinedUntil = now + s.settings.QuarantineMillis
-		w.failureScore = s.healthPolicy.Threshold() / 2
-		s.noteRun(DecisionQuarantined, r, w, "its tasks fail although they succeed on other workers")
-	}
-}
-
-// quarantineFailedJobs is the number of failures that must count on a worker,
-// without a successful run in between, before it is quarantined. Two successive
-// ones that count are of different jobs.
-const quarantineFailedJobs = 2
-
 // replyTime returns when a worker's heartbeat must be answered. It is answered
 // immediately if a task of the worker may end soon, because the worker can
 // report the end only after the reply. The delay is at most speedPeriodMillis
