Let stalled tasks delay no wave, and drains keep starting tasks

A stalled task that is not serving is left out now (TestStalledTasksDelayNoWave failed before: no order in place of two).

stopForDrain had the hole that mayGoDown had: it stopped a task that the worker's latest heartbeat lists as starting although another one of its step is away (TestDrainKeepsStartingTask failed before: one stop).

--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -179,6 +179,11 @@
 	s.dirtyPools[s.pool(w.pool)] = true
 }
 
+// stalled reports whether the run has made no progress for longer than it may.
+func (r *run) stalled(now clock.Millis, settings Settings) bool {
+	return now-r.progressedAt > settings.StallMillis+r.step.Estimate/4
+}
+
 // stopStalledRuns stops the worker's tasks that make no progress, so that they
 // start elsewhere. It quarantines the worker at once, because each stall takes
 // long to notice, unless the job is known to fail or stall elsewhere.
@@ -190,7 +195,7 @@
 		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
 			continue
 		}
-		if now-r.progressedAt > s.settings.StallMillis+r.step.Estimate/4 {
+		if r.stalled(now, s.settings) {
 			s.stopRun(w, r, "it makes no progress")
 			if s.blameWorker(w, r, s.healthPolicy.Threshold(), now) {
 				s.quarantine(w, r, "a task on it makes no progress and is not known to fail elsewhere", now)
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -282,15 +282,19 @@
 }
 
 // stopForDrain stops a long-running task on a draining worker, so that it
-// starts elsewhere before the worker exits. A serving task is not stopped while
-// as many tasks of its step are unavailable as may be: a maintenance order in
-// flight may end another one.
+// starts elsewhere before the worker exits. A task that may serve is not stopped
+// while as many other tasks of its step are unavailable as may be: a maintenance
+// order in flight may end another one.
 func (s *Scheduler[P, H]) stopForDrain(w *worker, r *run) {
 	if !r.step.LongRunning || r.stopping {
 		return
 	}
 	limit := r.step.MaxUnavailable
-	if limit > 0 && r.serving() && s.unavailable(r.rec, stepKeyOf(r.task)) >= limit {
+	if !r.serving() {
+		// The task is one of those that are unavailable.
+		limit++
+	}
+	if r.step.MaxUnavailable > 0 && r.mayServe(s.now, s.settings) && s.unavailable(r.rec, stepKeyOf(r.task)) >= limit {
 		return
 	}
 	s.stopRun(w, r, "the worker is draining")
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -237,9 +237,9 @@
 
 // mayGoDown reports whether the machine of a worker may go down now. It may if
 // all tasks except long-running ones have ended or may be ended, and if no step
-// would exceed its MaxUnavailable. A starting task may be at work since the worker's
-// latest heartbeat, so it counts like a serving one. If a step would exceed it only
-// because several of its tasks are on the machine, mayGoDown stops one of them.
+// of which a task may serve there would exceed its MaxUnavailable. A starting task may
+// serve since the worker's latest heartbeat. If a step would exceed it only because
+// several of its tasks are on the machine, mayGoDown stops one of them.
 func (s *Scheduler[P, H]) mayGoDown(w *worker, finiteMayEnd bool) bool {
 	if w == nil {
 		return true
@@ -255,11 +255,13 @@
 		case r.step.MaxUnavailable > 0 && !r.stopping:
 			k := stepKeyOf(t)
 			ending[k]++
-			records[k] = r.rec
+			if r.mayServe(s.now, s.settings) {
+				records[k] = r.rec
+			}
 		}
 	}
-	for k, n := range ending {
-		rec := records[k]
+	for k, rec := range records {
+		n := ending[k]
 		if rec.Status.Final() {
 			continue
 		}
@@ -290,6 +292,12 @@
 // serving reports whether a long-running task serves its users.
 func (r *run) serving() bool { return r.listed && r.percent >= 100 && !r.stopping }
 
+// mayServe reports whether a long-running task serves its users or may have begun to
+// since the latest heartbeat of its worker, which is not so if it is stalled.
+func (r *run) mayServe(now clock.Millis, settings Settings) bool {
+	return !r.stopping && (r.serving() || !r.listed || !r.stalled(now, settings))
+}
+
 // unavailableOn returns how many of the tasks that unavailable counts are on a worker and
 // are not being stopped.
 func (s *Scheduler[P, H]) unavailableOn(w *worker, k stepKey) int {
--- a/core/state/sched/wave_availability_test.go
+++ b/core/state/sched/wave_availability_test.go
@@ -148,3 +148,70 @@
 	f.now += waveCheckPeriodMillis
 	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
 }
+
+// TestStartingTasksKeepAvailability guards against a wave that ends two tasks of a
+// long-running step which have begun to serve since the latest heartbeats.
+func TestStartingTasksKeepAvailability(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		heartbeat func(f *fixture, id string)
+	}{
+		{"assigned", func(f *fixture, id string) { f.heartbeat(id, 1, nil) }},
+		{"starting", func(f *fixture, id string) { f.heartbeatServing(id, 50) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(Defaults())
+			f.now += f.settings.TakeoverDelayMillis + 100
+			f.submit("serve", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+			f.heartbeat("w1", 1, nil)
+			f.heartbeat("w2", 1, nil)
+			f.Pass(f.now)
+			f.now += waveCheckPeriodMillis
+			c.heartbeat(f, "w1")
+			c.heartbeat(f, "w2")
+			f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, f.now)
+			assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+			f.now += waveCheckPeriodMillis
+			f.heartbeatServing("w1", 100)
+			f.heartbeatServing("w2", 100)
+			assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 1)
+		})
+	}
+}
+
+// TestStalledTasksDelayNoWave guards against a wave that never ends because tasks of a
+// long-running step do not begin to serve.
+func TestStalledTasksDelayNoWave(t *testing.T) {
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis + 100
+	f.submit("serve", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+	f.heartbeat("w1", 1, nil)
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	f.heartbeatServing("w1", 0)
+	f.heartbeatServing("w2", 0)
+	f.now += f.settings.StallMillis + 1
+	f.heartbeatServing("w1", 0)
+	f.heartbeatServing("w2", 0)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 5000}, f.now)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 2)
+}
+
+// TestDrainKeepsStartingTask guards against a drain that stops a task which has begun to
+// serve since the latest heartbeat, while another one of its step is away.
+func TestDrainKeepsStartingTask(t *testing.T) {
+	f, order := newServingFixture(t)
+	f.HandleOutcome(order, Outcome{Answer: AnswerDone}, f.now)
+	task, r := jobs.TaskID{Job: "serve", Index: 1}, f.workers["w2"].runs[jobs.TaskID{Job: "serve", Index: 1}]
+	if r == nil {
+		task = jobs.TaskID{Job: "serve"}
+		r = f.workers["w2"].runs[task]
+	}
+	f.seq++
+	f.Heartbeat(Heartbeat{
+		Worker: "w2", Incarnation: 1, Machine: "m-w2", Pool: "p", Seq: f.seq, Draining: true, ReceivedAt: f.now,
+		Running: []RunStatus{{Task: task, Run: r.number, Percent: 50}}, Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 32_000},
+	}, f.now)
+	f.now += f.settings.MaxReplyDelayMillis
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w2").Stops), 0)
+}
