--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -126,8 +126,16 @@
 	for _, w := range s.workers {
 		for _, r := range w.runs {
 			if r.step.LongRunning && !r.listed && now-r.assignedAt >= longWaitMillis {
-				s.noteRun(DecisionRunNotListed, r, w, fmt.Sprintf("assigned %d ms ago; the worker was last heard %d ms ago", now-r.assignedAt, now-w.heardAt))
+				s.noteRun(DecisionRunNotListed, r, w, fmt.Sprintf("assigned %d ms ago; %s", now-r.assignedAt, w.lastHeard(now)))
 			}
 		}
 	}
 }
+
+// lastHeard describes for logs when the worker was last heard.
+func (w *worker) lastHeard(now clock.Millis) string {
+	if w.heardAt == 0 {
+		return "the worker has not been heard in this term"
+	}
+	return fmt.Sprintf("the worker was last heard %d ms ago", now-w.heardAt)
+}
--- a/core/state/sched/waiting_test.go
+++ b/core/state/sched/waiting_test.go
@@ -7,6 +7,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
 )
 
 // lastingStep is a step with one long-running task on half of a worker.
@@ -46,3 +47,15 @@
 	f.heartbeat("w1", 1, nil)
 	assert.Assert(t, is.Contains(noteOf(f.Pass(f.now), DecisionRunNotListed), "assigned 2000 ms ago"))
 }
+
+// TestSilentWorkerOfNewTermIsLogged guards against a line that gives the age of a
+// heartbeat although the worker has not been heard in this term.
+func TestSilentWorkerOfNewTermIsLogged(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", lastingStep)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.testScheduler = New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now)
+	f.now += longWaitMillis
+	assert.Assert(t, is.Contains(noteOf(f.Pass(f.now), DecisionRunNotListed), "has not been heard in this term"))
+}
