--- a/core/state/sched/exclusion_simulation_test.go
+++ b/core/state/sched/exclusion_simulation_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -103,12 +102,11 @@
 	return sim
 }
 
-// elect replaces the leader. No worker is quarantined for failed runs, so that only
-// maintenance keeps tasks off the workers.
+// elect replaces the leader.
 func (sim *poolSimulation) elect() {
 	settings := Defaults()
 	settings.BacklogTargetMillis = 0
-	sim.leader = New(settings, EarliestDeadline{}, place.PeerComparison{MinScore: math.Inf(1)}, sim.committed.Clone(), sim.now)
+	sim.leader = New(settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, sim.committed.Clone(), sim.now)
 }
 
 func (sim *poolSimulation) failf(format string, args ...any) {
--- a/core/state/sched/reservation_test.go
+++ b/core/state/sched/reservation_test.go
@@ -369,9 +369,6 @@
 func playFaults(t *testing.T, seed uint64, longest clock.Millis) {
 	t.Helper()
 	b := newBusyPool(t, 4, nil)
-	// The failures are spread over the workers at random. Quarantine would take
-	// workers away, which is not what is tested here.
-	b.settings.QuarantineMillis = 0
 	b.rand = rand.New(rand.NewPCG(seed, 5))
 	b.backlog = func() jobs.Step {
 		return jobs.Step{
