--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -66,7 +66,6 @@
 // is empty, for each task of a gang; nil if not all tasks can be placed.
 // Workers are preferred in the same order as for single tasks.
 func (s *Scheduler[P, H]) chooseFromRack(p *pool, g *taskGroup, rack string, now clock.Millis) []*worker {
-	failed := s.failedWorkers(g)
 	byScore := slices.SortedFunc(maps.Values(p.available), func(x, y *worker) int {
 		if scoreX, scoreY := s.scoreWorker(x, g), s.scoreWorker(y, g); scoreX.better(scoreY) {
 			return -1
@@ -75,10 +74,10 @@
 	})
 	var chosen []*worker
 	for _, w := range byScore {
-		if (rack != "" && w.rack != rack) || (failed[w.id] && now-g.waitingSince < otherWorkerWaitMillis) || !s.canRun(w, g, now) {
+		if (rack != "" && w.rack != rack) || !s.canRun(w, g, now) || s.gangAvoids(g, w, now) {
 			continue
 		}
-		for range min(w.fitCount(w.capacity.Minus(w.used), g), g.step.TaskCount-len(chosen)) {
+		for range min(w.fitCount(p.free(w), g), g.step.TaskCount-len(chosen)) {
 			chosen = append(chosen, w)
 		}
 	}
@@ -88,18 +87,6 @@
 	return chosen
 }
 
-// failedWorkers returns the workers on which the latest run of a task of the group
-// failed.
-func (s *Scheduler[P, H]) failedWorkers(g *taskGroup) map[jobs.WorkerID]bool {
-	failed := map[jobs.WorkerID]bool{}
-	for n := range g.step.TaskCount {
-		if id, ok := s.lastFailedOn[g.key.taskID(n)]; ok {
-			failed[id] = true
-		}
-	}
-	return failed
-}
-
 // fitCount returns how many tasks of the group fit into the given resources of
 // the worker, at most TaskCount and, unless it is 0, at most MaxPerWorker.
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
@@ -113,15 +100,16 @@
 }
 
 // gangCapacity returns how many tasks of the group can run once all other tasks
-// except long-running ones have ended: inPool on all workers of the pool, and
-// inBestRack on those of the rack that can run the most.
+// except long-running ones have ended, without what is reserved for tasks of higher
+// rank: inPool on all workers of the pool, and inBestRack on those of the rack that
+// can run the most.
 func (s *Scheduler[P, H]) gangCapacity(p *pool, g *taskGroup, now clock.Millis) (inPool, inBestRack int) {
 	byRack := map[string]int{}
 	for w := range s.liveWorkers(p, now) {
 		if !s.acceptsGroup(w, g, now) || !s.adviceAllows(w, g, now) {
 			continue
 		}
-		n := w.fitCount(w.capacityForFiniteTasks(), g)
+		n := w.fitCount(w.capacityForFiniteTasks().Minus(p.reserved[w]), g)
 		inPool += n
 		byRack[w.rack] += n
 		inBestRack = max(inBestRack, byRack[w.rack])
@@ -154,6 +142,14 @@
 	return inPool >= g.step.TaskCount
 }
 
+// unqueueGang removes the waiting tasks of a gang from its group once the gang is
+// done. It has no effect if t is not part of a gang.
+func (s *Scheduler[P, H]) unqueueGang(rec *jobs.Record, t jobs.TaskID) {
+	if g := s.pool(s.poolOf(rec)).groupByStep[stepKeyOf(t)]; g != nil && g.step.Gang {
+		g.waiting = g.waiting[:0]
+	}
+}
+
 // stopGang stops the other tasks of a gang after task t has ended before the
 // work of the gang was done. They cannot work without it, and all tasks must
 // start again together. stopGang has no effect if t is not part of a gang.
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -6,7 +6,6 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
-	"camphorridge/core/state/place"
 )
 
 // Heartbeat processes a heartbeat; the reply is part of a later plan. It
@@ -31,12 +30,15 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
+		w = &worker{id: h.Worker, incarnation: h.Incarnation, runs: map[jobs.TaskID]*run{}, failedJobs: map[jobs.ID]bool{}, leaseUntil: h.ReceivedAt + s.maxLease(), speed: speed{percent: fullSpeedPercent}}
 		s.workers[h.Worker] = w
 		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 	}
 	s.updateWorker(w, h, now)
 	s.removeStarted(h)
+	if w.quarantinedUntil > 0 && w.quarantinedUntil <= now {
+		s.endQuarantine(w)
+	}
 	ack := s.handleRunEnds(w, h, now)
 	s.updateRuns(w, h, now)
 	s.machineArrived(w)
@@ -46,7 +48,7 @@
 		w.leaseExpired = false
 		s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 	}
-	s.repeatOrders(w, now)
+	s.repeatOrders(w, h.MoreEnds, now)
 	s.stopStalledRuns(w, now)
 	s.adjustSpeed(w, now)
 	if !w.draining {
@@ -75,9 +77,11 @@
 	}
 	if w.pool != h.Pool && w.pool != "" {
 		delete(s.pool(w.pool).available, w.id)
+		delete(s.pool(w.pool).workers, w.id)
 	}
 	w.machine, w.pool, w.zone, w.labels = h.Machine, h.Pool, h.Zone, h.Labels
 	w.rack = rackOf(h.Labels)
+	s.pool(w.pool).workers[w.id] = w
 	w.seq, w.capacity, w.reported = h.Seq, h.Capacity, true
 	w.heardAt = max(w.heardAt, h.ReceivedAt)
 	delete(s.absences, h.Machine)
@@ -136,15 +140,16 @@
 		}
 		s.noteRun(DecisionEnded, r, w, reason)
 	}
-	if result == jobs.ResultDone || result == jobs.ResultFailed {
+	if (result == jobs.ResultDone || result == jobs.ResultFailed) && !previousStatus.Final() {
 		s.updateHealth(w, r, result == jobs.ResultFailed, now)
 	}
-	if result == jobs.ResultRefused {
-		s.dropTicket(w, r)
-	}
-	delete(s.lastFailedOn, r.task)
-	if result == jobs.ResultFailed && !rec.Status.Final() {
-		s.lastFailedOn[r.task] = w.id
+	// A refusal of a ticket keeps the task off the worker until there is a new one.
+	refused := result == jobs.ResultRefused && !s.dropTicket(w, r)
+	switch {
+	case result == jobs.ResultDone || rec.Status.Final():
+		delete(s.avoided, r.task)
+	case result == jobs.ResultFailed || refused:
+		s.avoid(r.task, w, now)
 	}
 	switch {
 	case rec.Status.Final():
@@ -154,6 +159,7 @@
 		}
 	case !needed:
 	case result == jobs.ResultDone && !r.step.LongRunning:
+		s.unqueueGang(rec, r.task)
 		s.queueDependents(rec, r.task, now)
 	default:
 		s.queueTask(rec, r.task, now)
@@ -182,6 +188,9 @@
 // and records those in the heartbeat that are not assigned to it.
 func (s *Scheduler[P, H]) updateRuns(w *worker, h Heartbeat, now clock.Millis) {
 	for _, r := range w.runs {
+		if r.listed || r.unlistedSince == 0 {
+			r.unlistedSince = now
+		}
 		r.listed = false
 	}
 	s.clearUnassigned(w)
@@ -205,8 +214,8 @@
 // clearUnassigned forgets the unassigned runs of a worker and frees their
 // resources.
 func (s *Scheduler[P, H]) clearUnassigned(w *worker) {
-	for _, extra := range w.unassigned {
-		w.used = w.used.Minus(extra.resources)
+	for _, resources := range w.unassigned {
+		w.used = w.used.Minus(resources)
 	}
 	w.unassigned = nil
 }
@@ -214,33 +223,42 @@
 // addUnassigned records a run that is not assigned to the worker. Its resources
 // count as used while the worker lists it.
 func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
-	extra := unassignedRun{run: status.Run}
+	key := Stop{Task: status.Task, Run: status.Run}
+	if _, ok := w.unassigned[key]; ok {
+		return
+	}
+	resources := jobs.Resources{}
 	if rec := s.State.Jobs[status.Task.Job]; rec != nil && status.Task.Step >= 0 && status.Task.Step < len(rec.Steps) {
-		extra.resources = reservation(&rec.Steps[status.Task.Step])
+		resources = reservation(&rec.Steps[status.Task.Step])
 	}
 	if w.unassigned == nil {
-		w.unassigned = map[jobs.TaskID]unassignedRun{}
+		w.unassigned = map[Stop]jobs.Resources{}
 	}
-	w.unassigned[status.Task] = extra
-	w.used = w.used.Plus(extra.resources)
+	w.unassigned[key] = resources
+	w.used = w.used.Plus(resources)
 }
 
 // repeatOrders repeats the orders that, according to the heartbeat, did not
 // arrive, and orders the stop of the runs that are not assigned to the worker.
 // When a worker sends a heartbeat, it has processed or dropped the reply to the
 // one before. An earlier start order for a run that the heartbeat does not list
-// can therefore no longer take effect, and if the run should not start any
-// more, it is ended as lost. On a draining worker, the long-running tasks that
-// the heartbeat lists are stopped.
-func (s *Scheduler[P, H]) repeatOrders(w *worker, now clock.Millis) {
-	for t, extra := range w.unassigned {
-		w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: t, Run: extra.run})
+// can therefore no longer take effect. If the run should not start any more, or
+// has not been listed for unconfirmedStartMillis, it is ended as lost, but not
+// while its end may be among those that the heartbeat omits (moreEnds). On a
+// draining worker, the long-running tasks that the heartbeat lists are stopped.
+func (s *Scheduler[P, H]) repeatOrders(w *worker, moreEnds bool, now clock.Millis) {
+	for stop := range w.unassigned {
+		w.heartbeat.stops = append(w.heartbeat.stops, stop)
 	}
 	for _, id := range sortedTaskIDs(w.runs) {
 		r := w.runs[id]
 		switch {
 		case r.listed && (r.stopping || !r.needed()):
 			w.heartbeat.stops = append(w.heartbeat.stops, Stop{Task: id, Run: r.number})
+		case !r.listed && moreEnds:
+		case !r.listed && now-r.unlistedSince >= unconfirmedStartMillis:
+			s.endRun(w, r, jobs.ResultLost, "", now)
+			s.avoid(id, w, now)
 		case !r.listed && (r.stopping || !r.needed() || w.draining):
 			s.endRun(w, r, jobs.ResultLost, "", now)
 		case !r.listed:
@@ -251,6 +269,11 @@
 	}
 }
 
+// unconfirmedStartMillis is how long the start order of a run is repeated that
+// the worker's heartbeats do not list. A worker that gets no reply sends its next
+// heartbeat after a second, so at least two replies in a row were lost by then.
+const unconfirmedStartMillis = 2 * clock.Second
+
 // needed reports whether the job still needs the run: the job has not ended,
 // and the task was not completed by the end of another task of its gang.
 func (r *run) needed() bool {
@@ -259,15 +282,19 @@
 }
 
 // stopForDrain stops a long-running task on a draining worker, so that it
-// starts elsewhere before the worker exits. A serving task is not stopped while
-// as many tasks of its step are unavailable as may be: a maintenance order in
-// flight may end another one.
+// starts elsewhere before the worker exits. A task that may serve is not stopped
+// while as many other tasks of its step are unavailable as may be: a maintenance
+// order in flight may end another one.
 func (s *Scheduler[P, H]) stopForDrain(w *worker, r *run) {
 	if !r.step.LongRunning || r.stopping {
 		return
 	}
 	limit := r.step.MaxUnavailable
-	if limit > 0 && r.serving() && s.unavailable(r.rec, stepKeyOf(r.task)) >= limit {
+	if !r.serving() {
+		// The task is one of those that are unavailable.
+		limit++
+	}
+	if r.step.MaxUnavailable > 0 && r.mayServe(s.now, s.settings) && s.unavailable(r.rec, stepKeyOf(r.task)) >= limit {
 		return
 	}
 	s.stopRun(w, r, "the worker is draining")
@@ -312,6 +339,7 @@
 	delete(s.pool(w.pool).available, w.id)
 	if s.workers[w.id] == w {
 		delete(s.workers, w.id)
+		delete(s.pool(w.pool).workers, w.id)
 	}
 	if s.workerByMachine[w.machine] == w {
 		delete(s.workerByMachine, w.machine)
@@ -328,43 +356,6 @@
 	s.clearUnassigned(w)
 }
 
-// updateHealth updates the worker's failure score with the result of a run,
-// which is compared to the results of the queue's tasks on other workers. It
-// quarantines the worker when the score reaches a threshold and
-// quarantineFailedJobs failures in a row have counted. A failure does not count
-// if the last one that counted on the worker was of the same job, because a job
-// that cannot succeed fails on every worker.
-func (s *Scheduler[P, H]) updateHealth(w *worker, r *run, failed bool, now clock.Millis) {
-	p := s.pool(w.pool)
-	history := p.history[r.rec.Queue]
-	if history == nil {
-		history = place.NewClassHistory()
-		p.history[r.rec.Queue] = history
-	}
-	if failed && w.lastFailedJob == r.task.Job {
-		return
-	}
-	id := place.WorkerID(w.id)
-	w.failureScore = max(0, w.failureScore+s.healthPolicy.Score(history.Evidence(id, failed)))
-	history.Add(id, failed)
-	if !failed {
-		w.failedJobsInRow = 0
-		return
-	}
-	w.failedJobsInRow++
-	w.lastFailedJob = r.task.Job
-	if w.failureScore >= s.healthPolicy.Threshold() && w.failedJobsInRow >= quarantineFailedJobs && w.quarantinedUntil <= now {
-		w.quarantinedUntil = now + s.settings.QuarantineMillis
-		w.failureScore = s.healthPolicy.Threshold() / 2
-		s.noteRun(DecisionQuarantined, r, w, "its tasks fail although they succeed on other workers")
-	}
-}
-
-// quarantineFailedJobs is the number of failures that must count on a worker,
-// without a successful run in between, before it is quarantined. Two successive
-// ones that count are of different jobs.
-const quarantineFailedJobs = 2
-
 // replyTime returns when a worker's heartbeat must be answered. It is answered
 // immediately if a task of the worker may end soon, because the worker can
 // report the end only after the reply. The delay is at most speedPeriodMillis
@@ -387,23 +378,25 @@
 	return now + delay
 }
 
-// predictNextEnd predicts when the next task of the worker ends. The prediction
-// is based on the progress of each task or, if that is unknown, on three
-// quarters of its estimate. ok is false if the worker runs no finite task.
+// predictNextEnd predicts when the next task of the worker ends. ok is false if the
+// worker runs no finite task.
 func (w *worker) predictNextEnd(now clock.Millis) (at clock.Millis, ok bool) {
 	for _, r := range w.runs {
 		if r.step.LongRunning {
 			continue
 		}
-		end := now
-		if r.percent > 0 && r.percent < 100 {
-			end = now + (now-r.assignedAt)*clock.Millis(100-r.percent)/clock.Millis(r.percent)
-		} else if remaining := r.assignedAt + r.step.Estimate*3/4 - now; remaining > 0 {
-			end = now + remaining
-		}
-		if !ok || end < at {
+		if end := r.predictEnd(now); !ok || end < at {
 			at, ok = end, true
 		}
 	}
 	return at, ok
 }
+
+// predictEnd predicts when a finite run ends. The prediction is based on its
+// progress or, if that is unknown, on three quarters of its estimate.
+func (r *run) predictEnd(now clock.Millis) clock.Millis {
+	if r.percent > 0 && r.percent < 100 {
+		return now + (now-r.assignedAt)*clock.Millis(100-r.percent)/clock.Millis(r.percent)
+	}
+	return max(now, r.assignedAt+r.step.Estimate*3/4)
+}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -50,23 +50,6 @@
 	}
 }
 
-// stopStalledRuns stops the worker's tasks that make no progress, so that they
-// start elsewhere, and quarantines the worker if there are any.
-func (s *Scheduler[P, H]) stopStalledRuns(w *worker, now clock.Millis) {
-	for _, r := range w.runs {
-		// A best-effort task may stall because other tasks use all processor
-		// time.
-		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
-			continue
-		}
-		if now-r.progressedAt > s.settings.StallMillis+r.step.Estimate/4 {
-			s.stopRun(w, r, "it makes no progress")
-			w.failureScore = max(w.failureScore, s.healthPolicy.Threshold()/2)
-			w.quarantinedUntil = max(w.quarantinedUntil, now+s.settings.QuarantineMillis)
-		}
-	}
-}
-
 // placePool assigns waiting tasks to the available workers of a pool.
 func (s *Scheduler[P, H]) placePool(p *pool, now clock.Millis) {
 	if len(p.groups) == 0 || len(p.available) == 0 {
@@ -76,6 +59,7 @@
 	// unplaceable holds reservations that fit on no available worker. Groups
 	// that reserve at least as much are skipped.
 	var unplaceable []jobs.Resources
+	p.reserved = nil
 	for _, g := range p.groups {
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
 			continue
@@ -91,24 +75,30 @@
 			}
 			continue
 		}
-		if slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.FitsIn(reserved) }) {
-			continue
+		skip := slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.FitsIn(reserved) })
+		if !skip && !s.placeTasks(p, g, now) {
+			unplaceable = append(unplaceable, reserved)
 		}
-		for len(g.waiting) > 0 {
-			last := len(g.waiting) - 1
-			t := g.key.taskID(g.waiting[last])
-			w, hasCapacity := s.chooseWorker(p, g, t, now)
-			if w == nil {
-				if !hasCapacity {
-					unplaceable = append(unplaceable, reserved)
-				}
-				s.requestAdvice(p, g, now)
-				break
-			}
-			g.waiting = g.waiting[:last]
-			s.startTask(w, g, t, now)
+		s.reserve(p, g, now)
+	}
+}
+
+// placeTasks assigns the waiting tasks of a group to available workers, until there
+// is none for a task. It returns false if none of the workers has enough free
+// resources for that task.
+func (s *Scheduler[P, H]) placeTasks(p *pool, g *taskGroup, now clock.Millis) bool {
+	for len(g.waiting) > 0 {
+		last := len(g.waiting) - 1
+		t := g.key.taskID(g.waiting[last])
+		w, hasCapacity := s.chooseWorker(p, g, t, now)
+		if w == nil {
+			s.requestAdvice(p, g, now)
+			return hasCapacity
 		}
+		g.waiting = g.waiting[:last]
+		s.startTask(w, g, t, now)
 	}
+	return true
 }
 
 // startTask assigns a task to a worker. The start order is part of the reply to
@@ -123,24 +113,18 @@
 	s.noteRun(DecisionStarted, r, w, "")
 }
 
-// otherWorkerWaitMillis is how long a task waits for a worker other than the
-// one that it failed on. The wait is limited because the pool may have no
-// other.
-const otherWorkerWaitMillis = clock.Second
-
 // chooseWorker returns the best worker for a task of a group, or nil if there
 // is none. hasCapacity reports whether any worker has enough free resources,
 // even if it was excluded for another reason.
 func (s *Scheduler[P, H]) chooseWorker(p *pool, g *taskGroup, t jobs.TaskID, now clock.Millis) (best *worker, hasCapacity bool) {
 	reserved := reservation(g.step)
-	failedOn := s.lastFailedOn[t]
 	var bestScore score
 	for _, w := range p.available {
-		if !reserved.FitsIn(w.capacity.Minus(w.used)) {
+		if !reserved.FitsIn(p.free(w)) {
 			continue
 		}
 		hasCapacity = true
-		if (w.id == failedOn && now-g.waitingSince < otherWorkerWaitMillis) || !s.canRun(w, g, now) {
+		if s.avoids(t, w, now) || !s.canRun(w, g, now) {
 			continue
 		}
 		if candidate := s.scoreWorker(w, g); best == nil || candidate.better(bestScore) {
@@ -156,15 +140,6 @@
 	return w.heartbeat != nil && s.acceptsGroup(w, g, now) && s.adviceAllows(w, g, now) && (g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker)
 }
 
-// acceptsGroup reports whether a worker accepts new tasks and has the label
-// that the group requires.
-func (s *Scheduler[P, H]) acceptsGroup(w *worker, g *taskGroup, now clock.Millis) bool {
-	if w.draining || w.cordoned || w.goingDown || w.vacating || w.quarantinedUntil > now {
-		return false
-	}
-	return w.hasLabel(g)
-}
-
 // hasLabel reports whether the worker has the label that the group requires, if
 // any.
 func (w *worker) hasLabel(g *taskGroup) bool {
@@ -306,9 +281,11 @@
 	return max(at, now+1)
 }
 
-func sortedTaskIDs(m map[jobs.TaskID]*run) []jobs.TaskID {
-	return slices.SortedFunc(maps.Keys(m), func(a, b jobs.TaskID) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
-			cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-	})
+func sortedTaskIDs[R any](m map[jobs.TaskID]R) []jobs.TaskID {
+	return slices.SortedFunc(maps.Keys(m), compareTaskIDs)
+}
+
+func compareTaskIDs(a, b jobs.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -94,6 +94,8 @@
 
 // pool is the waiting work and the available workers of one pool.
 type pool struct {
+	// workers holds the workers of the pool that have sent a heartbeat in this term.
+	workers map[jobs.WorkerID]*worker
 	// groups holds the groups of waiting tasks. sorted is false if a group was
 	// added since the last sort.
 	groups []*taskGroup
@@ -104,6 +106,9 @@
 	// available holds the workers that are not draining and have a heartbeat
 	// without a reply. Tasks can be assigned only to these.
 	available map[jobs.WorkerID]*worker
+	// reserved holds what the workers reserve for the waiting long-running tasks
+	// that rank before the group being placed. Each pass computes it anew.
+	reserved map[*worker]jobs.Resources
 	// newMilliCoreMillis is the work that has arrived since the last update of
 	// arrivalRate. Its unit is milli-cores times milliseconds, although its type
 	// is clock.Millis.
@@ -158,8 +163,8 @@
 // this term and whose lease has not expired.
 func (s *Scheduler[P, H]) liveWorkers(p *pool, now clock.Millis) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
-		for _, w := range s.workers {
-			if s.pools[w.pool] == p && w.reported && w.leaseUntil >= now && !yield(w) {
+		for _, w := range p.workers {
+			if w.leaseUntil >= now && !yield(w) {
 				return
 			}
 		}
@@ -171,7 +176,8 @@
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{
-			groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{}, history: map[jobs.QueueName]*place.ClassHistory{},
+			workers: map[jobs.WorkerID]*worker{}, groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{},
+			history: map[jobs.QueueName]*place.ClassHistory{},
 		}
 		s.pools[name] = p
 	}
@@ -179,13 +185,13 @@
 }
 
 // queueJob queues the tasks of a job that may start now, and schedules the
-// occurrences that are not due.
+// occurrences that are due later than queuedUntil.
 func (s *Scheduler[P, H]) queueJob(rec *jobs.Record, now clock.Millis) {
 	if rec.Status.Final() {
 		return
 	}
 	for occurrence := range rec.Occurrences {
-		if due := rec.DueAt(occurrence); due > now {
+		if due := rec.DueAt(occurrence); due > s.queuedUntil {
 			s.scheduled.Push(scheduledOccurrence{dueAt: due, job: rec.ID, occurrence: occurrence})
 			continue
 		}
@@ -214,9 +220,11 @@
 	}
 }
 
-// queueTask adds a waiting task to its pool.
+// queueTask adds a waiting task to its pool. It does nothing while the
+// occurrence is in scheduled: a leader whose clock is ahead may have started its
+// tasks in an earlier term, and those that wait are queued when it is due.
 func (s *Scheduler[P, H]) queueTask(rec *jobs.Record, t jobs.TaskID, now clock.Millis) {
-	if rec.Status.Final() {
+	if rec.Status.Final() || rec.DueAt(t.Occurrence) > s.queuedUntil {
 		return
 	}
 	p := s.pool(s.poolOf(rec))
@@ -231,7 +239,13 @@
 		p.groups = append(p.groups, g)
 		p.sorted = false
 	}
-	g.waiting = append(g.waiting, t.Index)
+	if g.step.LongRunning && rec.Task(t).Run > 0 {
+		// The tasks that have waited for longer start first: with too few workers
+		// for all, the others would take turns and never let them start.
+		g.waiting = slices.Insert(g.waiting, 0, t.Index)
+	} else {
+		g.waiting = append(g.waiting, t.Index)
+	}
 	s.dirtyPools[p] = true
 }
 
@@ -293,6 +307,7 @@
 
 // queueDueOccurrences queues the occurrences that have become due.
 func (s *Scheduler[P, H]) queueDueOccurrences(now clock.Millis) {
+	s.queuedUntil = max(s.queuedUntil, now)
 	for s.scheduled.Len() > 0 && s.scheduled.Top().dueAt <= now {
 		next := s.scheduled.Pop()
 		if rec := s.State.Jobs[next.job]; rec != nil && !rec.Status.Final() {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -25,10 +25,12 @@
 	// removedIncarnations holds the latest removed incarnation of each worker.
 	// Late heartbeats of this incarnation and earlier ones are rejected.
 	removedIncarnations map[jobs.WorkerID]jobs.Incarnation
-	// lastFailedOn holds, for each task whose latest ended run failed, the worker
-	// of that run.
-	lastFailedOn map[jobs.TaskID]jobs.WorkerID
-	pools        map[jobs.PoolName]*pool
+	// avoided holds the workers that tasks are kept off because of how their runs
+	// ended there; an entry may have expired.
+	avoided map[jobs.TaskID][]avoidedWorker
+	// failures holds the failures of the jobs that have not ended.
+	failures map[jobs.ID]*jobFailures
+	pools    map[jobs.PoolName]*pool
 	// poolByQueue maps the configured queues to their pools.
 	poolByQueue map[jobs.QueueName]jobs.PoolName
 	// configVersion is the version of the configuration that poolByQueue and
@@ -43,14 +45,18 @@
 	// termStart is when this process became leader.
 	termStart clock.Millis
 	waves     map[int]*wave
+	// cordons holds the machines whose workers are cordoned.
+	cordons map[jobs.MachineID]bool
 	// absences holds the machines of waves that may no longer exist.
 	absences map[jobs.MachineID]*absence
 	fleet    machineFleet
 	// pending holds the jobs without a schedule that have not ended and of which
 	// no task is known to have started on a worker.
 	pending map[jobs.ID]*jobs.Record
-	// scheduled holds the occurrences that are not due yet.
-	scheduled heap.Heap[scheduledOccurrence]
+	// scheduled holds the occurrences that are due later than queuedUntil. Tasks of
+	// the others are queued as soon as they wait and their step is ready.
+	scheduled   heap.Heap[scheduledOccurrence]
+	queuedUntil clock.Millis
 	// replyDeadlines orders the heartbeats by the time at which they must be
 	// answered. An entry is skipped if its heartbeat has been answered or must
 	// now be answered at an earlier time.
@@ -113,21 +119,19 @@
 	// leaseUntil is the end of the longest lease that the worker may have.
 	leaseUntil clock.Millis
 	runs       map[jobs.TaskID]*run
-	// unassigned holds the runs that the worker lists although they are not
-	// assigned to it.
-	unassigned map[jobs.TaskID]unassignedRun
+	// unassigned holds the stop orders for the runs that the worker lists although
+	// they are not assigned to it, with the resources that they use. used is the
+	// sum of these and of the reservations of runs.
+	unassigned map[Stop]jobs.Resources
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
-	// soon. goingDown is set once the maintenance or a move of the machine is
-	// ordered; from then on the worker's tasks count as unavailable.
+	// soon, but for long-running ones that no other worker takes. Only updateCordons
+	// changes it. goingDown is set while a maintenance or a move of the machine that
+	// was ordered for this incarnation is open; the worker's tasks count as
+	// unavailable then. Only updateGoingDown changes it.
 	cordoned  bool
 	goingDown bool
-	// failedJobsInRow is the number of failures on this worker since the last
-	// successful run on it. Successive failures of one job count once.
-	// lastFailedJob is the job of the latest failure; a success does not clear it.
-	failedJobsInRow int
-	lastFailedJob   jobs.ID
 	// vacating keeps new tasks off a worker whose machine another pool needs.
 	// The machine is moved once the running tasks have ended.
 	vacating bool
@@ -137,18 +141,15 @@
 	// idleSince is when updatePoolLoads first found that the worker runs
 	// nothing; 0 if it runs something.
 	idleSince clock.Millis
-	// failureScore measures the evidence that the worker itself is faulty. The
-	// worker is quarantined until quarantinedUntil.
+	// failureScore measures the evidence that the worker itself is faulty.
+	// failedJobs holds the jobs whose failures count against the worker, since
+	// its latest successful run and its latest quarantine. The worker is
+	// quarantined until quarantinedUntil; 0 if it is not.
 	failureScore     float64
+	failedJobs       map[jobs.ID]bool
 	quarantinedUntil clock.Millis
 }
 
-// unassignedRun is a run that a worker lists although it is not assigned to it.
-type unassignedRun struct {
-	run       int
-	resources jobs.Resources
-}
-
 // pendingHeartbeat is a heartbeat whose reply is delayed until replyBy.
 type pendingHeartbeat struct {
 	// replyBy is valid if hasReplyBy is set; it can only be brought forward.
@@ -168,8 +169,11 @@
 	number int
 	rec    *jobs.Record
 	step   *jobs.Step
-	// listed is set if the worker's latest heartbeat lists the run.
-	listed bool
+	// listed is set if the worker's latest heartbeat lists the run. Otherwise,
+	// unlistedSince is when the first heartbeat in a row without it was processed; 0
+	// for none.
+	listed        bool
+	unlistedSince clock.Millis
 	// percent and load are those of the latest RunStatus; RunStatus.Load says in
 	// which unit load is. checkpoint is the latest checkpoint that is not empty.
 	percent    int
@@ -190,10 +194,11 @@
 // sends a heartbeat.
 func New[P RankPolicy, H place.HealthPolicy](settings Settings, policy P, health H, state *jobs.State, now clock.Millis) *Scheduler[P, H] {
 	s := &Scheduler[P, H]{
-		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now,
+		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now, queuedUntil: now,
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
-		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{}, lastFailedOn: map[jobs.TaskID]jobs.WorkerID{},
+		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{},
+		avoided: map[jobs.TaskID][]avoidedWorker{}, failures: map[jobs.ID]*jobFailures{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{},
 	}
 	s.readConfig()
@@ -215,7 +220,7 @@
 		w := s.workers[state.Worker]
 		if w == nil || w.incarnation < state.Incarnation {
 			w = &worker{
-				id: state.Worker, incarnation: state.Incarnation, pool: rec.Pool, runs: map[jobs.TaskID]*run{},
+				id: state.Worker, incarnation: state.Incarnation, pool: rec.Pool, runs: map[jobs.TaskID]*run{}, failedJobs: map[jobs.ID]bool{},
 				leaseUntil: now + s.maxLease(), speed: unknownSpeed(),
 			}
 			s.workers[state.Worker] = w
@@ -306,11 +311,13 @@
 
 // noteJobEnd adds a note on the end of a job: how long it took, by how much it
 // was late if it completed, and how many runs it had and how many of them
-// failed. It also drops the job's advice and removes it from the pending jobs.
+// failed. It also drops the job's advice and failures and removes it from the
+// pending jobs.
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
 	delete(s.pending, rec.ID)
+	delete(s.failures, rec.ID)
 	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
 	if lateness > 0 && rec.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", lateness)
--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
 )
 
 // Timing of the notes about long-running tasks that do not run.
@@ -29,18 +30,22 @@
 // which they are checked.
 func (s *Scheduler[P, H]) workerChecks(g *taskGroup, now clock.Millis) []workerCheck {
 	reserved := reservation(g.step)
+	free := func(w *worker) jobs.Resources { return w.capacity.Minus(w.used) }
+	if !g.step.LongRunning {
+		free = s.pool(s.poolOf(g.rec)).free
+	}
 	return []workerCheck{
 		{WaitNoWorkers, "live", func(*worker) bool { return true }},
 		{WaitLabel, "label", func(w *worker) bool { return w.hasLabel(g) }},
 		{WaitSize, "size", func(w *worker) bool { return reserved.FitsIn(w.capacity) }},
 		{WaitLeaving, "draining", func(w *worker) bool { return !w.draining }},
 		{WaitLeaving, "going-down", func(w *worker) bool { return !w.goingDown }},
-		{WaitLeaving, "cordoned", func(w *worker) bool { return !w.cordoned }},
+		{WaitLeaving, "cordoned", func(w *worker) bool { return !w.cordonedFor(g, now) }},
 		{WaitLeaving, "vacating", func(w *worker) bool { return !w.vacating }},
 		{WaitQuarantine, "quarantined", func(w *worker) bool { return w.quarantinedUntil <= now }},
 		{WaitAdvice, "advice", func(w *worker) bool { return s.adviceAllows(w, g, now) }},
 		{WaitPerWorker, "per-worker", func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
-		{WaitCapacity, "room", func(w *worker) bool { return reserved.FitsIn(w.capacity.Minus(w.used)) }},
+		{WaitCapacity, "room", func(w *worker) bool { return reserved.FitsIn(free(w)) }},
 	}
 }
 
@@ -121,8 +126,16 @@
 	for _, w := range s.workers {
 		for _, r := range w.runs {
 			if r.step.LongRunning && !r.listed && now-r.assignedAt >= longWaitMillis {
-				s.noteRun(DecisionRunNotListed, r, w, fmt.Sprintf("assigned %d ms ago; the worker was last heard %d ms ago", now-r.assignedAt, now-w.heardAt))
+				s.noteRun(DecisionRunNotListed, r, w, fmt.Sprintf("assigned %d ms ago; %s", now-r.assignedAt, w.lastHeard(now)))
 			}
 		}
 	}
 }
+
+// lastHeard describes for logs when the worker was last heard.
+func (w *worker) lastHeard(now clock.Millis) string {
+	if w.heardAt == 0 {
+		return "the worker has not been heard in this term"
+	}
+	return fmt.Sprintf("the worker was last heard %d ms ago", now-w.heardAt)
+}
