Give free resources to the long-running task that has waited longest

Cause: of two jobs of one priority the one that was accepted first ranked first, however long the other one had waited. A task that failed took, or had reserved, the resources that it left, again and again.

Change: long-running steps of one class and priority rank by the time from which they wait. TestLongestWaitingJobStartsFirst failed before: nothing started beside the reservation for the failed task.

--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -300,11 +300,21 @@
 		p.rankedAt = now
 	}
 	slices.SortFunc(p.groups, func(a, b *taskGroup) int {
-		return cmp.Or(cmp.Compare(a.rank.Class, b.rank.Class), cmp.Compare(a.rank.Key, b.rank.Key),
+		return cmp.Or(cmp.Compare(a.rank.Class, b.rank.Class), cmp.Compare(a.rank.Key, b.rank.Key), cmp.Compare(a.turn(), b.turn()),
 			cmp.Compare(a.rank.Seq, b.rank.Seq), cmp.Compare(a.key.step, b.key.step))
 	})
 }
 
+// turn orders the groups of equal class and key: long-running ones by the time from
+// which they wait, so that tasks that fail again and again don't keep others from the
+// resources that they leave.
+func (g *taskGroup) turn() clock.Millis {
+	if g.step.LongRunning {
+		return g.waitingSince
+	}
+	return 0
+}
+
 // queueDueOccurrences queues the occurrences that have become due.
 func (s *Scheduler[P, H]) queueDueOccurrences(now clock.Millis) {
 	s.queuedUntil = max(s.queuedUntil, now)
--- a/core/state/sched/queue_test.go
+++ b/core/state/sched/queue_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
 )
 
@@ -36,3 +37,21 @@
 	f.now += f.maxLease() + 1
 	assert.Equal(t, len(f.liveIDs("p")), 0)
 }
+
+// TestLongestWaitingJobStartsFirst guards against a long-running task that fails again
+// and again and keeps the resources from one of a later job that waits for them.
+func TestLongestWaitingJobStartsFirst(t *testing.T) {
+	f := newFixture(Defaults())
+	step := lastingStep
+	step.Resources.MilliCores = 16_000
+	f.submit("a", step)
+	f.submit("b", step)
+	f.heartbeat("w1", 1, nil)
+	o := ordersFor(f.Pass(f.now), "w1")
+	assert.Equal(t, o.Starts[0].Task.Job, jobs.ID("a"))
+	f.now += 2 * clock.Second
+	f.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
+	o = ordersFor(f.Pass(f.now), "w1")
+	assert.Equal(t, len(o.Starts), 1)
+	assert.Equal(t, o.Starts[0].Task.Job, jobs.ID("b"))
+}
