Drop what a job's tasks are kept off when the job ends

An entry of avoided stayed for good if its job was cancelled while the task waited. TestAvoidedWorkersEndWithTheJob failed before, with one entry left.

--- a/core/state/sched/assigned_test.go
+++ b/core/state/sched/assigned_test.go
@@ -177,3 +177,17 @@
 	assert.Equal(t, len(next), 1)
 	assert.Assert(t, next[0].Task != first[0].Task)
 }
+
+// TestAvoidedWorkersEndWithTheJob guards against the memory of tasks that were kept off
+// a worker when their job was cancelled.
+func TestAvoidedWorkersEndWithTheJob(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("a", servingStep)
+	f.heartbeat("w1", 1, nil)
+	o := ordersFor(f.Pass(f.now), "w1")
+	f.now += 100
+	f.heartbeat("w1", 1, nil, endsFor(o, jobs.ResultFailed)...)
+	assert.Equal(t, len(f.avoided), 1)
+	f.Cancel("a", f.now)
+	assert.Equal(t, len(f.avoided), 0)
+}
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -324,6 +324,7 @@
 	}
 	runs, failures := 0, 0
 	for id, state := range rec.Tasks() {
+		delete(s.avoided, id)
 		runs += state.Run
 		if id.Index == 0 {
 			failures += rec.Failures(id.Occurrence, id.Step)
