--- a/core/state/sched/liveness_simulation_test.go
+++ b/core/state/sched/liveness_simulation_test.go
@@ -179,13 +179,6 @@
 	}
 }
 
-// quarantined reports whether the leader keeps new tasks off the worker because
-// runs on it failed. Whom it may quarantine is not checked here.
-func (sim *livenessSimulation) quarantined(w *simWorker) bool {
-	known := sim.leader.scheduler.workers[w.id]
-	return known != nil && known.quarantinedUntil > sim.leaderNow()
-}
-
 // hasRoom reports whether a sound worker could run the task beside what it runs.
 func (sim *livenessSimulation) hasRoom(rec *jobs.Record, t jobs.TaskID) bool {
 	pool := rec.Pool
@@ -194,7 +187,7 @@
 	}
 	step := &rec.Steps[t.Step]
 	for _, w := range sim.workers {
-		if w.pool != pool || w.draining || w.failing || w.stuck || w.refusing || sim.now < w.repliesLostUntil || sim.quarantined(w) {
+		if w.pool != pool || w.draining || w.failing || w.stuck || w.refusing || sim.now < w.repliesLostUntil {
 			continue
 		}
 		free, ofStep := w.capacity, 0
