Hold no resources for tasks that are kept off their worker

After each failure the resources were reserved for the failed task, which is kept off the worker for a second, and a task of lower rank that they were free for never started.

Change: resources for such a group are reserved after the other long-running tasks are placed, so against finite tasks only. TestFailingTasksLeaveRoomForOthers failed before: not started within 6 s.

The hosts of a group are kept for 100 ms, since all workers of the pool are looked at to choose them.

--- a/core/state/sched/avoid.go
+++ b/core/state/sched/avoid.go
@@ -18,8 +18,11 @@
 	until clock.Millis
 }
 
-// avoid keeps a task off a worker for otherWorkerWaitMillis.
+// avoid keeps a task off a worker for otherWorkerWaitMillis, unless its job has ended.
 func (s *Scheduler[P, H]) avoid(t jobs.TaskID, w *worker, now clock.Millis) {
+	if s.State.Jobs[t.Job].Status.Final() {
+		return
+	}
 	kept := slices.DeleteFunc(s.avoided[t], func(a avoidedWorker) bool { return a.id == w.id || a.until <= now })
 	s.avoided[t] = append(kept, avoidedWorker{id: w.id, until: now + otherWorkerWaitMillis})
 }
@@ -38,3 +41,10 @@
 	}
 	return false
 }
+
+// keepsOff reports whether any waiting task of a group is kept off a worker.
+func (s *Scheduler[P, H]) keepsOff(g *taskGroup, now clock.Millis) bool {
+	return slices.ContainsFunc(g.waiting, func(index int) bool {
+		return slices.ContainsFunc(s.avoided[g.key.taskID(index)], func(a avoidedWorker) bool { return now < a.until })
+	})
+}
--- a/core/state/sched/health.go
+++ b/core/state/sched/health.go
@@ -192,7 +192,7 @@
 		r := w.runs[id]
 		// A best-effort task may stall because other tasks use all processor
 		// time.
-		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || r.percent >= 100 {
+		if r.step.LongRunning || r.step.BestEffort || r.stopping || !r.listed || !r.needed() || r.percent >= 100 {
 			continue
 		}
 		if r.stalled(now, s.settings) {
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -60,10 +60,20 @@
 	// that reserve at least as much are skipped.
 	var unplaceable []jobs.Resources
 	p.reserved = nil
+	// keptOff holds the groups with tasks that are kept off a worker. Nothing is
+	// reserved for them before the other long-running tasks are placed: a task that
+	// fails again and again would keep these from resources that it does not use.
+	var keptOff []*taskGroup
 	for _, g := range p.groups {
 		if len(g.waiting) == 0 || g.rec.Status.Final() {
 			continue
 		}
+		if !g.step.LongRunning {
+			for _, k := range keptOff {
+				s.reserve(p, k, now)
+			}
+			keptOff = nil
+		}
 		reserved := reservation(g.step)
 		if g.step.Gang {
 			if s.startGang(p, g, now) {
@@ -79,6 +89,10 @@
 		if !skip && !s.placeTasks(p, g, now) {
 			unplaceable = append(unplaceable, reserved)
 		}
+		if s.keepsOff(g, now) {
+			keptOff = append(keptOff, g)
+			continue
+		}
 		s.reserve(p, g, now)
 	}
 }
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -145,6 +145,7 @@
 	waiting      []int
 	waitingSince clock.Millis
 	rank         Rank
+	hosts        groupHosts
 }
 
 // scheduledOccurrence is an occurrence that is not due yet.
--- a/core/state/sched/reservation_test.go
+++ b/core/state/sched/reservation_test.go
@@ -409,3 +409,36 @@
 	}
 	b.workers[name] = &busyWorker{incarnation: w.incarnation + 1, runs: map[jobs.TaskID]*busyRun{}}
 }
+
+// TestFailingTasksLeaveRoomForOthers guards against long-running tasks that fail again
+// and again and keep a task of lower rank from resources that they do not use.
+func TestFailingTasksLeaveRoomForOthers(t *testing.T) {
+	f := newFixture(Defaults())
+	step := lastingStep
+	step.TaskCount, step.MaxPerWorker, step.Resources.MilliCores, step.Resources.MemoryMiB = 5, 4, 4000, 100
+	f.submit("failing", step)
+	step.TaskCount = 1
+	f.submit("b", step)
+	startedAt, lastEnd := map[jobs.TaskID]Start{}, int64(0)
+	for end := f.now + 6*clock.Second; f.now < end; f.now += 50 {
+		var running []RunStatus
+		var ends []RunEnd
+		for _, id := range sortedTaskIDs(startedAt) {
+			if f.State.Task(id).Phase != jobs.PhaseAssigned || f.now%clock.Millis(200+100*id.Index) != 0 {
+				running = append(running, RunStatus{Task: id, Run: startedAt[id].Run, Percent: 100})
+				continue
+			}
+			lastEnd++
+			ends = append(ends, RunEnd{Number: lastEnd, Task: id, Run: startedAt[id].Run, Result: jobs.ResultFailed})
+			delete(startedAt, id)
+		}
+		f.heartbeat("w1", 1, running, ends...)
+		for _, s := range ordersFor(f.Pass(f.now), "w1").Starts {
+			if s.Task.Job == "b" {
+				return
+			}
+			startedAt[s.Task] = s
+		}
+	}
+	t.Fatal("the task of lower rank did not start within 6 s")
+}
--- a/core/state/sched/reserve.go
+++ b/core/state/sched/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"camphorridge/core/state/clock"
@@ -17,8 +18,21 @@
 	// stopDurationMillis is how long it takes until the resources of a run that is
 	// being stopped are free.
 	stopDurationMillis clock.Millis = 500
+	// reservationAgeMillis is how long the hosts of a group's waiting tasks are kept
+	// before they are chosen anew, because all workers of the pool are looked at then.
+	reservationAgeMillis clock.Millis = 100
 )
 
+// groupHosts are the workers on which resources are reserved for the waiting tasks of a
+// group, one for each task; a worker may occur more than once.
+type groupHosts struct {
+	workers []*worker
+	// waiting is the number of waiting tasks for which the workers were chosen, and
+	// chosenAt the time of that.
+	waiting  int
+	chosenAt clock.Millis
+}
+
 // free returns the resources of a worker that are neither used nor reserved for a
 // task that ranks before the group being placed. A reservation that exceeds what is
 // free leaves nothing, so that it does not affect tasks that need none of a resource.
@@ -42,26 +56,59 @@
 // reserve reserves the resources of a group's waiting long-running tasks on the
 // workers that can run them the soonest, so that groups of lower rank leave these
 // resources free. Without this, smaller tasks would take the resources of each task
-// that ends, and a large task would never find enough of them on one worker. Each
-// worker gets one task before any gets another.
+// that ends, and a large task would never find enough of them on one worker.
 func (s *Scheduler[P, H]) reserve(p *pool, g *taskGroup, now clock.Millis) {
 	reserved := reservation(g.step)
 	if !g.step.LongRunning || reserved == (jobs.Resources{}) {
 		return
 	}
-	for missing, perWorker := len(g.waiting), 0; missing > 0; perWorker++ {
+	if !s.hostsAreCurrent(g, now) {
+		g.hosts = groupHosts{workers: s.chooseHosts(p, g, now), waiting: len(g.waiting), chosenAt: now}
+	}
+	for _, w := range g.hosts.workers {
+		p.addReserved(w, reserved)
+	}
+}
+
+// hostsAreCurrent reports whether the hosts of a group were chosen recently for its
+// waiting tasks and can still run them.
+func (s *Scheduler[P, H]) hostsAreCurrent(g *taskGroup, now clock.Millis) bool {
+	return g.hosts.waiting == len(g.waiting) && now-g.hosts.chosenAt < reservationAgeMillis &&
+		!slices.ContainsFunc(g.hosts.workers, func(w *worker) bool { return s.workers[w.id] != w || !s.mayHost(w, g, now) })
+}
+
+// addReserved reserves resources of a worker for the rest of the pass.
+func (p *pool) addReserved(w *worker, resources jobs.Resources) {
+	if p.reserved == nil {
+		p.reserved = map[*worker]jobs.Resources{}
+	}
+	p.reserved[w] = p.reserved[w].Plus(resources)
+}
+
+// chooseHosts chooses the workers for the waiting tasks of a group. Each worker gets one
+// task before any gets another.
+func (s *Scheduler[P, H]) chooseHosts(p *pool, g *taskGroup, now clock.Millis) []*worker {
+	var chosen []*worker
+	reservedBefore := maps.Clone(p.reserved)
+	for perWorker := 0; len(chosen) < len(g.waiting); perWorker++ {
+		missing := len(g.waiting) - len(chosen)
 		hosts := s.preempt(p, g, s.hosts(p, g, perWorker, now), missing, now)
 		if len(hosts) == 0 {
-			return
+			break
 		}
 		for _, h := range hosts[:min(missing, len(hosts))] {
-			if p.reserved == nil {
-				p.reserved = map[*worker]jobs.Resources{}
-			}
-			p.reserved[h.w] = p.reserved[h.w].Plus(reserved)
-			missing--
+			p.addReserved(h.w, reservation(g.step))
+			chosen = append(chosen, h.w)
 		}
 	}
+	p.reserved = reservedBefore
+	return chosen
+}
+
+// mayHost reports whether the worker may get tasks of the group, regardless of its
+// resources and of how many tasks of the step it runs.
+func (s *Scheduler[P, H]) mayHost(w *worker, g *taskGroup, now clock.Millis) bool {
+	return w.leaseUntil >= now && now-w.heardAt <= maxSilenceMillis && s.acceptsGroup(w, g, now) && s.adviceAllows(w, g, now)
 }
 
 // hosts returns the workers that can run one more task of the group in addition to
@@ -71,8 +118,7 @@
 func (s *Scheduler[P, H]) hosts(p *pool, g *taskGroup, alreadyReserved int, now clock.Millis) []host {
 	var out []host
 	for w := range s.liveWorkers(p, now) {
-		if now-w.heardAt > maxSilenceMillis || !s.acceptsGroup(w, g, now) || !s.adviceAllows(w, g, now) ||
-			(g.step.MaxPerWorker > 0 && w.taskCount(g.key)+alreadyReserved >= g.step.MaxPerWorker) {
+		if !s.mayHost(w, g, now) || (g.step.MaxPerWorker > 0 && w.taskCount(g.key)+alreadyReserved >= g.step.MaxPerWorker) {
 			continue
 		}
 		if readyAt, ok := w.predictFree(reservation(g.step).Plus(p.reserved[w]), now); ok {
