--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -126,7 +126,7 @@
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
-	// soon, but for long-running ones that no other worker takes. Only updateCordons
+	// soon, except long-running ones that no other worker takes. Only updateCordons
 	// changes it. goingDown is set while a maintenance or a move of the machine that
 	// was ordered for this incarnation is open; the worker's tasks count as
 	// unavailable then. Only updateGoingDown changes it.
