--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -72,8 +72,8 @@
 }
 
 // BenchmarkHeartbeatWithWaitingTasks measures the same while long-running tasks of
-// each pool wait for resources, as they do when a pool is full. The cost must
-// not depend on the size of the fleet.
+// each pool wait for resources, as they do when a pool is full. With pools of one size
+// the cost must not depend on the size of the fleet.
 func BenchmarkHeartbeatWithWaitingTasks(b *testing.B) {
 	for _, n := range []int{50, 350, 5100} {
 		b.Run(fmt.Sprint(n, "-workers"), func(b *testing.B) {
