Look only at long-running groups for tasks that are kept off a worker

Cause: with a backlog of thousands of groups each pass looked up every waiting task of every group, to find those that are kept off a worker, so that the leader answered heartbeats too late. Only long-running groups need it.

--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -89,11 +89,13 @@
 		if !skip && !s.placeTasks(p, g, now) {
 			unplaceable = append(unplaceable, reserved)
 		}
-		if s.keepsOff(g, now) {
+		switch {
+		case !g.step.LongRunning:
+		case s.keepsOff(g, now):
 			keptOff = append(keptOff, g)
-			continue
+		default:
+			s.reserve(p, g, now)
 		}
-		s.reserve(p, g, now)
 	}
 }
 
