Log the members of the control group and their silence

No line of the log named the members of a group that had lost its quorum, the silence of each, or the time that a new process took to become a voter.

Not run: the tests of platform and tests.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -35,8 +35,9 @@
 type PeerClient interface {
 	// Hello asks a control process to describe itself.
 	Hello(ctx context.Context, m model.Member) (Hello, error)
-	// Join asks the group that the members belong to for membership of self.
-	Join(ctx context.Context, members []model.Member, self raft.Member) error
+	// Join asks the group that the members belong to for membership of self. It returns
+	// the address of the process that answered, or that was called last.
+	Join(ctx context.Context, members []model.Member, self raft.Member) (address string, err error)
 }
 
 // JoinMode is the way in which a process with an empty data folder becomes a member.
--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -70,6 +70,10 @@
 	joined func(m raft.Member)
 	// removed is called with each member that was removed.
 	removed func(id raft.MemberID)
+	// asked is called with the outcome of a request for membership if it differs from
+	// lastAsked, the outcome of the request before.
+	asked     func(JoinAttempt)
+	lastAsked JoinAttempt
 	// checksWithoutLeader counts the consecutive checks without a known leader.
 	checksWithoutLeader int
 	// silentSince holds, on the leader, the time of the check that first found each
@@ -94,6 +98,17 @@
 	// each member that was removed.
 	Joined  func(raft.Member)
 	Removed func(raft.MemberID)
+	// Asked is called with the outcome of a request for membership of this process if it
+	// differs from the outcome of the request before.
+	Asked func(JoinAttempt)
+}
+
+// JoinAttempt is the outcome of a request for membership of this process.
+type JoinAttempt struct {
+	// Address is that of the process that answered, or that was called last.
+	Address string
+	// Err is the text of the error; empty if this process is a member now.
+	Err string
 }
 
 // NewMembershipManager returns a MembershipManager, which checks the member list only
@@ -101,7 +116,7 @@
 func NewMembershipManager[P PeerClient, G Group](cfg Config[P, G]) *MembershipManager[P, G] {
 	mm := &MembershipManager[P, G]{
 		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Peers, group: cfg.Group, clock: cfg.Clock,
-		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, silentSince: map[raft.MemberID]clock.Millis{},
+		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, asked: cfg.Asked, silentSince: map[raft.MemberID]clock.Millis{},
 	}
 	mm.Configure(cfg.Configured)
 	return mm
@@ -159,8 +174,16 @@
 		return
 	}
 	others := slices.DeleteFunc(slices.Clone(*mm.configured.Load()), func(m model.Member) bool { return m.Name == mm.self.Name })
-	// An error is ignored: the next check asks again.
-	_ = mm.peers.Join(ctx, others, mm.member)
+	// After an error, the next check asks again.
+	address, err := mm.peers.Join(ctx, others, mm.member)
+	attempt := JoinAttempt{Address: address}
+	if err != nil {
+		attempt.Err = err.Error()
+	}
+	if attempt != mm.lastAsked {
+		mm.lastAsked = attempt
+		mm.asked(attempt)
+	}
 }
 
 // removeSilentMember removes a member that has been silent for removalDelay if the
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -13,11 +13,14 @@
 )
 
 // fakeGroup is a Group whose view the test sets. It records the calls of Remove and
-// counts the calls of fakePeers.Join.
+// counts the calls of fakePeers.Join, which return joinAddress and joinErr.
 type fakeGroup struct {
-	view      View
-	joinCalls int
-	removed   []raft.MemberID
+	view        View
+	joinCalls   int
+	joinAddress string
+	joinErr     error
+	removed     []raft.MemberID
+	asked       []JoinAttempt
 }
 
 func (f *fakeGroup) Refresh(context.Context) View            { return f.view }
@@ -34,9 +37,9 @@
 	return Hello{}, errors.New("no answer")
 }
 
-func (f fakePeers) Join(context.Context, []model.Member, raft.Member) error {
+func (f fakePeers) Join(context.Context, []model.Member, raft.Member) (string, error) {
 	f.group.joinCalls++
-	return nil
+	return f.group.joinAddress, f.group.joinErr
 }
 
 func newTestManager(minMembers int) (*MembershipManager[fakePeers, *fakeGroup], *fakeGroup, *clock.Fake) {
@@ -44,6 +47,7 @@
 	mm := NewMembershipManager(Config[fakePeers, *fakeGroup]{
 		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, MinMembers: minMembers, Peers: fakePeers{g}, Group: g,
 		Clock: c.Clock(), Joined: func(raft.Member) {}, Removed: func(raft.MemberID) {},
+		Asked: func(a JoinAttempt) { g.asked = append(g.asked, a) },
 	})
 	return mm, g, c
 }
@@ -96,3 +100,16 @@
 		assert.Equal(t, len(g.removed), c.want)
 	}
 }
+
+// TestJoinAttemptsAreReportedOnChange guards against a process whose requests for
+// membership fail without a trace, and against a line of the log for each request.
+func TestJoinAttemptsAreReportedOnChange(t *testing.T) {
+	mm, g, _ := newTestManager(3)
+	g.joinAddress, g.joinErr = "c1:1", errors.New("no answer")
+	mm.check()
+	mm.check()
+	g.joinAddress, g.joinErr = "c2:1", nil
+	mm.check()
+	mm.check()
+	assert.DeepEqual(t, g.asked, []JoinAttempt{{Address: "c1:1", Err: "no answer"}, {Address: "c2:1"}})
+}
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -58,8 +58,9 @@
 	// later.
 	Send func([]raft.Message)
 	// Observe, if set, is called in the event loop after a change of the role,
-	// term, leader or member list, and when writes begin to fail or succeed again.
-	// It must not block or call the Group.
+	// term, leader or member list, when writes begin to fail or succeed again, and on
+	// the leader when a member falls silent or answers again. It must not block or call
+	// the Group.
 	Observe func(Status)
 }
 
@@ -92,6 +93,9 @@
 	pendingJoins []input
 	watchers     []watcher
 	observed     observedState
+	// observedSilent lists the members that were not recently active when Observe was
+	// last called.
+	observedSilent []raft.MemberID
 	// failedOutput is the output whose last write failed with writeErr; the write
 	// is retried from retryAt on. It is nil while writes succeed.
 	failedOutput *raft.Output
@@ -163,9 +167,15 @@
 	SnapshotIndex uint64
 	Version       model.Version
 	Members       []raft.Member
+	// MembersIndex is the index of the entry that set Members.
+	MembersIndex uint64
 	// Peers is nil unless this member is the leader.
-	Peers            []raft.PeerStatus
-	PendingProposals int
+	Peers []raft.PeerStatus
+	// PeersAtResignation is the status of the other members when this member last
+	// resigned as the leader for want of a quorum; nil if it never did, or has led again
+	// since.
+	PeersAtResignation []raft.PeerStatus
+	PendingProposals   int
 	// WriteError is the error of the last failed write of an output while writes
 	// fail, and otherwise empty.
 	WriteError string
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -250,6 +250,46 @@
 	assert.Equal(t, c.contracts(lead), 1)
 }
 
+// silentInOrder returns, for each status in which a member is a leader, whether the
+// member x is silent, without repetitions.
+func silentInOrder(all []Status, x raft.MemberID) (silent []bool) {
+	for _, s := range all {
+		for _, p := range s.Peers {
+			if p.Member.ID == x && (len(silent) == 0 || silent[len(silent)-1] == p.RecentlyActive) {
+				silent = append(silent, !p.RecentlyActive)
+			}
+		}
+	}
+	return silent
+}
+
+// TestSilenceIsObserved guards against a leader whose members fall silent, or that
+// resigns for want of a quorum, without a report that names them: the log could not
+// tell which machines the quorum lacked.
+func TestSilenceIsObserved(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(1, 2, 3)
+	first, second := others(lead)[0], others(lead)[1]
+	for _, partitioned := range []bool{true, false} {
+		c.network.setPartitioned(first, partitioned)
+		c.until("the leader observes the change", func() bool {
+			silent := silentInOrder(c.observed.of(lead), first)
+			return len(silent) > 0 && silent[len(silent)-1] == partitioned
+		})
+	}
+	assert.DeepEqual(t, silentInOrder(c.observed.of(lead), first), []bool{false, true, false})
+
+	c.network.setPartitioned(second, true)
+	c.network.setPartitioned(first, true)
+	c.until("the leader resigns", func() bool { return c.status(lead).Role != raft.RoleLeader })
+	observed := c.observed.of(lead)
+	peers := observed[len(observed)-1].PeersAtResignation
+	assert.Equal(t, len(peers), 2)
+	for _, p := range peers {
+		assert.Assert(t, !p.RecentlyActive && p.SilentMillis > 200, "%+v", p)
+	}
+}
+
 // TestCorrupt guards against a member that skips a committed entry that it
 // cannot decode, so that its state diverges from that of the others.
 func TestCorrupt(t *testing.T) {
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -167,7 +167,9 @@
 	s := Status{
 		Self: g.node.Self(), Role: g.node.Role(), Term: g.node.Term(), Leader: g.member(g.node.Leader()),
 		Commit: g.node.Commit(), Applied: g.applied, SnapshotIndex: g.snapshotIndex, Version: g.state.Version,
-		Members: slices.Clone(g.node.Members()), Peers: g.node.Peers(), PendingProposals: len(g.pendingProposals), Counts: g.counts,
+		Members: slices.Clone(g.node.Members()), MembersIndex: g.node.MembersIndex(),
+		Peers: g.node.Peers(), PeersAtResignation: g.node.PeersAtResignation(),
+		PendingProposals: len(g.pendingProposals), Counts: g.counts,
 	}
 	s.Counts.RefusedInputs = g.ring.Refused()
 	if g.failedOutput != nil {
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"slices"
+
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
 )
@@ -142,23 +144,35 @@
 	g.node.Compact(meta)
 }
 
-// observeChanges reports a change of the role, term, leader or member list, or that
-// writes began to fail or succeed again. It fails the pending requests when the
-// leadership was lost.
+// observeChanges reports a change of the role, term, leader or member list, that writes
+// began to fail or succeed again, or that a member fell silent or answers again. It
+// fails the pending requests when the leadership was lost.
 func (g *Group[S, C]) observeChanges() {
 	v := observedState{
 		role: g.node.Role(), term: g.node.Term(), leader: g.node.Leader(),
 		membersIndex: g.node.MembersIndex(), writeFailed: g.failedOutput != nil,
 	}
-	if v == g.observed {
+	silent := silentMembers(g.node.Peers())
+	if v == g.observed && slices.Equal(silent, g.observedSilent) {
 		return
 	}
 	led := g.observed.role == raft.RoleLeader
 	if led && (v.role != raft.RoleLeader || v.term != g.observed.term) {
 		g.failPending("the member lost the leadership")
 	}
-	g.observed = v
+	g.observed, g.observedSilent = v, silent
 	if g.cfg.Observe != nil {
 		g.cfg.Observe(g.status())
 	}
 }
+
+// silentMembers returns the IDs of the members that are not recently active.
+func silentMembers(peers []raft.PeerStatus) []raft.MemberID {
+	var silent []raft.MemberID
+	for _, p := range peers {
+		if !p.RecentlyActive {
+			silent = append(silent, p.Member.ID)
+		}
+	}
+	return silent
+}
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -136,7 +136,7 @@
 	n.leader = n.self
 	n.votes, n.pendingReads = nil, nil
 	n.heartbeatRound = 0
-	n.peers = map[MemberID]*progress{}
+	n.peers, n.peersAtResignation = map[MemberID]*progress{}, nil
 	n.appendAsLeader(Entry{Kind: EntryNoOp})
 	n.syncPeers()
 	n.broadcastHeartbeat()
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -46,6 +46,9 @@
 	// RecentlyActive is true if the member has replied within the election
 	// timeout, or if the leader began to track it within that time.
 	RecentlyActive bool
+	// SilentMillis is the time since the last reply of the member, or since the leader
+	// began to track it.
+	SilentMillis clock.Millis
 	// CaughtUp is true when the member may be promoted.
 	CaughtUp bool
 }
@@ -70,12 +73,19 @@
 	var list []PeerStatus
 	for _, m := range n.Members() {
 		if p := n.peers[m.ID]; p != nil {
-			list = append(list, PeerStatus{Member: m, Match: p.match, RecentlyActive: n.recentlyActive(m.ID), CaughtUp: n.caughtUp(m.ID)})
+			list = append(list, PeerStatus{
+				Member: m, Match: p.match, RecentlyActive: n.recentlyActive(m.ID), SilentMillis: n.now - p.lastContact, CaughtUp: n.caughtUp(m.ID),
+			})
 		}
 	}
 	return list
 }
 
+// PeersAtResignation returns the status of the other members at the time when this
+// member last resigned as the leader for want of a quorum. It returns nil if it never
+// did, or has led again since.
+func (n *Node) PeersAtResignation() []PeerStatus { return n.peersAtResignation }
+
 // SnapshotMetaAt returns the description of a snapshot of the state at an
 // applied index. ok is false when the index is not applied or the log no longer
 // reaches back to it.
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -42,6 +42,9 @@
 
 	// peers is set on the leader and has an item for every other current member.
 	peers map[MemberID]*progress
+	// peersAtResignation is the status of the other members when this member last
+	// resigned for want of a quorum; nil while it leads.
+	peersAtResignation []PeerStatus
 	// heartbeatRound is the number of the current heartbeat round, whose
 	// acknowledgement by a quorum confirms reads. It never decreases while the
 	// member leads.
@@ -137,6 +140,7 @@
 // timeout, and otherwise sends heartbeats when they are due.
 func (n *Node) tickLeader() {
 	if !n.hasQuorum(n.recentlyActive) {
+		n.peersAtResignation = n.Peers()
 		n.becomeFollower(n.term, 0)
 		return
 	}
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -85,23 +85,24 @@
 
 // Join asks the leader of the control group, to which the members belong, to add
 // self. It tries the members in turn; if one names the leader's address, it tries
-// that address next. If all attempts fail, it returns the last error, which names the
-// member whose turn it was, even if the leader that this member named returned it.
-func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) error {
-	var lastErr error
+// that address next. It returns the address that answered or, if all attempts fail, the
+// last one that it tried, with the error, which names the member whose turn it was, even
+// if the leader that this member named returned it.
+func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) (tried string, lastErr error) {
 	for _, m := range members {
 		for address, hops := m.Address, 0; address != "" && hops < 2; hops++ {
+			tried = address
 			_, err := c.remote(address).consensus.Join(ctx, &wirepb.JoinRequest{
 				Member: codec.GroupMemberToWire(self), Stamp: c.stamp(),
 			})
 			if err == nil {
-				return nil
+				return tried, nil
 			}
 			mapped, leader := fromTwirp("join through "+string(m.Name), err)
 			lastErr, address = mapped, leader.Address
 		}
 	}
-	return lastErr
+	return tried, lastErr
 }
 
 // EventsServer serves the event log of this process.
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -62,6 +62,7 @@
 	member     *memberAccess
 	mover      *fleetMover
 	membership *membershipManager
+	memberLog  *memberLog
 	// jobs is nil in a process that schedules no jobs.
 	jobs *JobsRunner
 	// commitMillis records the duration of each commit of the job runner, in ms.
@@ -127,6 +128,7 @@
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
 	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
 	c.member = newMemberAccess(hello, c.senders)
+	c.memberLog = newMemberLog(lg, clk, hello)
 	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *memberAccess]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
 		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
@@ -136,6 +138,7 @@
 		Removed: func(id raft.MemberID) {
 			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which did not answer", id)})
 		},
+		Asked: c.memberLog.asked,
 	})
 	waves := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowUnservedPermille, HaltPermille: haltUnservedPermille},
 		maint.ZTest{Z: waveStopZ, MinFailures: waveStopMinFailures}, waveSettings(cfg.Maintenance))
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -143,6 +143,7 @@
 func (r *groupRunner) observe(s group.Status) {
 	before := r.ctrl.member.lastStatus.Load()
 	r.ctrl.member.updateStatus(s)
+	r.ctrl.memberLog.observe(s)
 	if before == nil || before.Role != s.Role || before.Term != s.Term {
 		r.ctrl.record(model.Event{
 			Kind: model.EventRole, Version: model.Version(s.Term),
