Look for silent members once a tick

The lines of silent members made each pass of the control group's event loop on the leader list all members. The leader's processor time is charged, and silence changes with time only, so the tick is enough. go test ./core/coord/group passes.

--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -93,8 +93,9 @@
 	pendingJoins []input
 	watchers     []watcher
 	observed     observedState
-	// observedSilent lists the members that were not recently active when Observe was
-	// last called.
+	// silent lists, on the leader, the members that were not recently active at the last
+	// tick, and observedSilent those of the last call of Observe.
+	silent         []raft.MemberID
 	observedSilent []raft.MemberID
 	// failedOutput is the output whose last write failed with writeErr; the write
 	// is retried from retryAt on. It is nil while writes succeed.
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -120,6 +120,7 @@
 	g.pendingJoins = slices.DeleteFunc(g.pendingJoins, func(in input) bool { return in.abandoned() })
 	if g.failedOutput == nil {
 		g.node.Tick(now)
+		g.silent = silentMembers(g.node.Peers())
 		g.reconcileMembers()
 		return
 	}
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -152,15 +152,14 @@
 		role: g.node.Role(), term: g.node.Term(), leader: g.node.Leader(),
 		membersIndex: g.node.MembersIndex(), writeFailed: g.failedOutput != nil,
 	}
-	silent := silentMembers(g.node.Peers())
-	if v == g.observed && slices.Equal(silent, g.observedSilent) {
+	if v == g.observed && slices.Equal(g.silent, g.observedSilent) {
 		return
 	}
 	led := g.observed.role == raft.RoleLeader
 	if led && (v.role != raft.RoleLeader || v.term != g.observed.term) {
 		g.failPending("the member lost the leadership")
 	}
-	g.observed, g.observedSilent = v, silent
+	g.observed, g.observedSilent = v, g.silent
 	if g.cfg.Observe != nil {
 		g.cfg.Observe(g.status())
 	}
