Replace silent voters by standbys in one joint change

What callers saw: after a control machine was replaced by one at another address, the loss of one more machine, which the users' platform allows 4 s after the successor has started, left the control group without a leader for ever.

Cause: the successor has another name, so that it joined as a fourth voter beside the lost one, and three of four voters were needed until the lost one had been silent for 8 s. The class of fault: a quorum that counts members which are gone, and a way from one member list to the next that tolerates fewer losses than both lists. Members were changed one at a time; whether the old voter is removed first or the new one is added first, one further loss in between ends the group.

Change: a group has a fixed number of voters, 2*faultTolerance+1 on the users' platform, and further members are standbys. The Raft node replaces voters by joint consensus: until the change is complete, elections and commits need a majority of the old and of the new voters. NextChange, a pure function of what the leader knows, replaces a silent voter by a standby that has caught up, and only then, so that the number of voters and of their disks never falls. The removal of silent members by the membership manager, with its delay of 8 s, is gone.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -25,7 +25,8 @@
 	// Initialised is set once the process has been in a group. It is durable and
 	// never cleared.
 	Initialised bool
-	// Founders is the member list if all its members are voters, and empty otherwise.
+	// Founders is the member list if all its members are voters and it is not joint, and
+	// empty otherwise.
 	// A process with an empty data folder that finds its own ID in the list is a founder
 	// whose start was interrupted.
 	Founders []raft.Member
--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -20,9 +20,6 @@
 	// leader after which a listed member asks to join: it may have been removed while
 	// it was not running.
 	maxChecksWithoutLeader = 3
-	// removalDelay is the time for which a member must be silent before it is removed
-	// from a group with more than the minimum number of members.
-	removalDelay = 8 * clock.Second
 )
 
 // View is a member's view of its group.
@@ -32,8 +29,6 @@
 	IsLeader bool
 	// HasLeader is set when a leader is known.
 	HasLeader bool
-	// Silent lists, on the leader, the members that have not answered recently.
-	Silent []raft.MemberID
 }
 
 // Group is the control group as a MembershipManager uses it.
@@ -41,17 +36,14 @@
 	// Refresh passes the addresses of the current members to the message transport and
 	// returns this process's view of the group.
 	Refresh(ctx context.Context) View
-	// Join adds a member; only the leader can. The new member replaces the listed
-	// member of the same name if that one no longer answers.
+	// Join adds a member; only the leader can. If a listed member has the same name,
+	// Join waits until that one no longer answers.
 	Join(ctx context.Context, m raft.Member) error
-	// Remove removes a member; only the leader can.
-	Remove(ctx context.Context, id raft.MemberID) error
 }
 
 // MembershipManager checks the member list once per checkInterval and refreshes the
 // members' addresses. On the leader it adds processes that lost their data folder,
-// under their new ID, and removes silent members from a group that has more members
-// than the minimum. In a process that is not a member it asks to become one.
+// under their new ID. In a process that is not a member it asks to become one.
 type MembershipManager[P PeerClient, G Group] struct {
 	self Hello
 	// member is the member that requestMembership asks the group to add; if its ID is 0,
@@ -59,8 +51,6 @@
 	member raft.Member
 	// configured holds the control processes in the settings.
 	configured atomic.Pointer[[]model.Member]
-	// minMembers is the number of members below which none is removed.
-	minMembers int
 	peers      P
 	group      G
 	clock      clock.Clock
@@ -68,17 +58,12 @@
 	done chan struct{}
 	// joined is called with each process that was added.
 	joined func(m raft.Member)
-	// removed is called with each member that was removed.
-	removed func(id raft.MemberID)
 	// asked is called with the outcome of a request for membership if it differs from
 	// lastAsked, the outcome of the request before.
 	asked     func(JoinAttempt)
 	lastAsked JoinAttempt
 	// checksWithoutLeader counts the consecutive checks without a known leader.
 	checksWithoutLeader int
-	// silentSince holds, on the leader, the time of the check that first found each
-	// silent member silent.
-	silentSince map[raft.MemberID]clock.Millis
 }
 
 // Config holds the settings and dependencies of a MembershipManager.
@@ -89,15 +74,11 @@
 	Member raft.Member
 	// Configured lists the control processes in the settings.
 	Configured []model.Member
-	// MinMembers is the number of members below which none is removed.
-	MinMembers int
 	Peers      P
 	Group      G
 	Clock      clock.Clock
-	// Joined is called with each process that was added, and Removed with the ID of
-	// each member that was removed.
-	Joined  func(raft.Member)
-	Removed func(raft.MemberID)
+	// Joined is called with each process that was added.
+	Joined func(raft.Member)
 	// Asked is called with the outcome of a request for membership of this process if it
 	// differs from the outcome of the request before.
 	Asked func(JoinAttempt)
@@ -115,8 +96,8 @@
 // while Run is running.
 func NewMembershipManager[P PeerClient, G Group](cfg Config[P, G]) *MembershipManager[P, G] {
 	mm := &MembershipManager[P, G]{
-		self: cfg.Self, member: cfg.Member, minMembers: cfg.MinMembers, peers: cfg.Peers, group: cfg.Group, clock: cfg.Clock,
-		done: make(chan struct{}), joined: cfg.Joined, removed: cfg.Removed, asked: cfg.Asked, silentSince: map[raft.MemberID]clock.Millis{},
+		self: cfg.Self, member: cfg.Member, peers: cfg.Peers, group: cfg.Group, clock: cfg.Clock,
+		done: make(chan struct{}), joined: cfg.Joined, asked: cfg.Asked,
 	}
 	mm.Configure(cfg.Configured)
 	return mm
@@ -146,12 +127,10 @@
 	defer cancel()
 	v := mm.group.Refresh(ctx)
 	if !v.IsLeader {
-		clear(mm.silentSince)
 		mm.requestMembership(ctx, v)
 		return
 	}
 	mm.checksWithoutLeader = 0
-	mm.removeSilentMember(ctx, v)
 	self := mm.self
 	self.Initialised = true
 	configured := *mm.configured.Load()
@@ -185,28 +164,3 @@
 		mm.asked(attempt)
 	}
 }
-
-// removeSilentMember removes a member that has been silent for removalDelay if the
-// group has more than minMembers members, as it has after a machine was replaced
-// permanently. It removes at most one member in each check.
-func (mm *MembershipManager[P, G]) removeSilentMember(ctx context.Context, v View) {
-	now := mm.clock.Now()
-	for id := range mm.silentSince {
-		if !slices.Contains(v.Silent, id) {
-			delete(mm.silentSince, id)
-		}
-	}
-	for _, id := range v.Silent {
-		since, known := mm.silentSince[id]
-		if !known {
-			mm.silentSince[id] = now
-			continue
-		}
-		if len(v.Members) > mm.minMembers && now-since >= removalDelay {
-			if mm.group.Remove(ctx, id) == nil {
-				mm.removed(id)
-			}
-			return
-		}
-	}
-}
--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -20,7 +20,6 @@
 	inputStatus
 	inputWatch
 	inputJoin
-	inputRemove
 )
 
 // input is a request or a batch of messages for the event loop.
@@ -155,18 +154,11 @@
 }
 
 // Join adds a member and returns the member list once the list contains the member.
-// The new member takes the addresses of the others from the list. A listed member
-// that has the same name and another ID is removed first, once it is no longer
-// active. The leader promotes the new member to a voter when it has caught up. Join
+// The new member takes the addresses of the others from the list. If a listed member has
+// the same name and another ID, Join waits until that one is no longer active. The
+// leader makes the new member a voter when it has caught up and a voter is missing. Join
 // must be called on the leader.
 func (g *Group[S, C]) Join(ctx context.Context, m raft.Member) ([]raft.Member, error) {
 	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
 }
-
-// Remove removes a member and returns nil once the removal is committed. It must
-// be called on the leader.
-func (g *Group[S, C]) Remove(ctx context.Context, id raft.MemberID) error {
-	_, err := g.call(ctx, input{kind: inputRemove, op: "remove", member: raft.Member{ID: id}}, KindOutcomeUnknown)
-	return err
-}
--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -188,6 +188,7 @@
 
 func (c *cluster) start(m raft.Member, disk *memStorage) *Group[*memStorage, jsonCodec] {
 	cfg := Config{
+		Voters:       3,
 		Raft:         raft.Config{ElectionTimeout: 200, HeartbeatInterval: 40, MaxAppendBytes: 4096, ChunkBytes: 200, Seed: 7},
 		TickInterval: 10, RingCapacity: 256, MaxPending: 200, SnapshotEntries: 20, RetryDelay: 50, Send: c.network.send,
 		Observe: c.observed.add,
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -40,6 +40,9 @@
 // smallest valid value.
 type Config struct {
 	Raft raft.Config
+	// Voters is the number of members that vote when the group is complete. With an odd
+	// number, any minority of their disks may be lost.
+	Voters int
 	// TickInterval is the interval at which timeouts are checked. New caps it at
 	// half of the heartbeat interval.
 	TickInterval clock.Millis
@@ -200,6 +203,7 @@
 func New[S Storage, C Codec](cfg Config, stored raft.StoredState, storage S, codec C, clk clock.Clock) (*Group[S, C], error) {
 	cfg.RingCapacity = max(cfg.RingCapacity, 16)
 	cfg.MaxPending = max(cfg.MaxPending, 1)
+	cfg.Voters = max(cfg.Voters, 1)
 	cfg.SnapshotEntries = max(cfg.SnapshotEntries, 1)
 	cfg.TickInterval = min(max(cfg.TickInterval, 1), max(cfg.Raft.HeartbeatInterval/2, 1))
 	cfg.RetryDelay = max(cfg.RetryDelay, 1)
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -39,8 +39,6 @@
 	case inputJoin:
 		g.pendingJoins = append(g.pendingJoins, in)
 		g.reconcileMembers()
-	case inputRemove:
-		g.changeMembers(in, raft.MemberChange{Kind: raft.RemoveMember, Member: in.member})
 	}
 }
 
@@ -70,12 +68,6 @@
 	g.addPending(in, index, term, err)
 }
 
-// changeMembers proposes one membership change.
-func (g *Group[S, C]) changeMembers(in input, c raft.MemberChange) {
-	index, term, err := g.node.ChangeMembers(c, g.clock.Now())
-	g.addPending(in, index, term, err)
-}
-
 // addPending registers the caller that waits for the entry at index, or answers
 // with err if it is not nil.
 func (g *Group[S, C]) addPending(in input, index, term uint64, err error) {
--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -6,9 +6,9 @@
 	"camphorridge/core/state/raft"
 )
 
-// reconcileMembers makes at most one membership change: one that a pending join
-// needs, or the promotion of a member that has caught up. Raft allows one change at
-// a time; the next ticks make the others.
+// reconcileMembers makes at most one membership change: the addition of a member that
+// joins, or the change that the Raft node asks for. Raft allows one change at a time;
+// the next ticks make the others.
 func (g *Group[S, C]) reconcileMembers() {
 	if g.node.Role() != raft.RoleLeader {
 		g.refuseJoins()
@@ -18,10 +18,9 @@
 		return
 	}
 	g.pendingJoins = slices.DeleteFunc(g.pendingJoins, g.advanceJoin)
-	for _, p := range g.node.Peers() {
-		if !p.Member.Voter && p.CaughtUp && g.tryChange(raft.PromoteMember, p.Member) == nil {
-			return
-		}
+	if c, ok := g.node.NextChange(g.cfg.Voters); ok {
+		// An error means that the change must wait, and a later tick repeats it.
+		_, _, _ = g.node.ChangeMembers(c, g.clock.Now())
 	}
 }
 
@@ -35,9 +34,8 @@
 }
 
 // advanceJoin performs the next step of a join and reports whether the join has
-// been answered. The old ID of a member that lost its disk is removed, once it is
-// no longer active, before the new one is added: in a group of three, the quorum
-// then consists of the same two disks throughout.
+// been answered. A process that lost its disk is added once its old ID is silent; the
+// old ID stays a voter until the new one has caught up and takes its place.
 func (g *Group[S, C]) advanceJoin(in input) bool {
 	if g.node.MembersPending() {
 		return false
@@ -52,35 +50,22 @@
 		in.answer(answer{err: failf(in.op, KindInvalid, "the leader %x already has the name %q", self.ID, self.Name)})
 		return true
 	}
-	change, member := raft.AddMember, in.member
-	if old, ok := g.predecessor(in.member); ok {
-		if old.RecentlyActive {
-			return false
-		}
-		change, member = raft.RemoveMember, old.Member
+	if g.hasActiveNamesake(in.member) {
+		return false
 	}
-	err := g.joinError(g.tryChange(change, member))
-	if err != nil {
+	_, _, err := g.node.ChangeMembers(raft.MemberChange{Kind: raft.AddMember, Member: in.member}, g.clock.Now())
+	if err = g.joinError(err); err != nil {
 		in.answer(answer{err: err})
 	}
 	return err != nil
 }
 
-// predecessor returns the status of the member in the list that has the same name
-// as m and another ID.
-func (g *Group[S, C]) predecessor(m raft.Member) (raft.PeerStatus, bool) {
-	for _, p := range g.node.Peers() {
-		if p.Member.Name == m.Name && p.Member.ID != m.ID {
-			return p, true
-		}
-	}
-	return raft.PeerStatus{}, false
-}
-
-// tryChange proposes one membership change and returns an error of the Raft node.
-func (g *Group[S, C]) tryChange(kind raft.ChangeKind, m raft.Member) error {
-	_, _, err := g.node.ChangeMembers(raft.MemberChange{Kind: kind, Member: m}, g.clock.Now())
-	return err
+// hasActiveNamesake reports whether a recently active member has the name of m and
+// another ID.
+func (g *Group[S, C]) hasActiveNamesake(m raft.Member) bool {
+	return slices.ContainsFunc(g.node.Peers(), func(p raft.PeerStatus) bool {
+		return p.Member.Name == m.Name && p.Member.ID != m.ID && p.RecentlyActive
+	})
 }
 
 // joinError translates an error of the Raft node and returns nil for one that
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -59,7 +59,7 @@
 	n.resetElectionTimer()
 	n.votes = map[MemberID]bool{n.self: true}
 	for _, m := range n.Members() {
-		if m.Voter && m.ID != n.self {
+		if (m.Voter || m.OldVoter) && m.ID != n.self {
 			n.send(Message{Kind: kind, To: m.ID, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
 		}
 	}
@@ -142,19 +142,25 @@
 	n.broadcastHeartbeat()
 }
 
-// hasQuorum reports whether f holds for a majority of the voters.
+// hasQuorum reports whether f holds for a majority of the voters and, if the member
+// list is joint, also for a majority of the old voters.
 func (n *Node) hasQuorum(f func(MemberID) bool) bool {
-	voters, yes := 0, 0
+	return n.hasMajority(isVoter, f) && (!n.joint() || n.hasMajority(isOldVoter, f))
+}
+
+// hasMajority reports whether f holds for a majority of the members in the set.
+func (n *Node) hasMajority(inSet func(Member) bool, f func(MemberID) bool) bool {
+	size, yes := 0, 0
 	for _, m := range n.Members() {
-		if !m.Voter {
+		if !inSet(m) {
 			continue
 		}
-		voters++
+		size++
 		if f(m.ID) {
 			yes++
 		}
 	}
-	return yes > voters/2
+	return yes > size/2
 }
 
 // recentlyActive reports whether the member has replied within the election
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -22,19 +22,33 @@
 
 // The types of membership change.
 const (
-	// AddMember adds a member as a non-voter.
+	// AddMember adds a member as a standby.
 	AddMember ChangeKind = iota
-	// PromoteMember makes a member a voter; it must have caught up.
-	PromoteMember
-	// RemoveMember removes a member.
+	// RemoveMember removes a standby.
 	RemoveMember
+	// SetVoters replaces the whole set of voters. Each new voter must have caught up.
+	// The list that it appends is joint; once that list is committed, the leader
+	// appends the list with the new voters alone.
+	SetVoters
 )
 
-// MemberChange is one change of the member list. PromoteMember and RemoveMember
-// use only the ID of Member.
+var changeNames = [...]string{"add", "remove", "set-voters"}
+
+// String returns the name of the change as used in reports.
+func (k ChangeKind) String() string {
+	if k < 0 || int(k) >= len(changeNames) {
+		return "unknown"
+	}
+	return changeNames[k]
+}
+
+// MemberChange is one change of the member list.
 type MemberChange struct {
-	Kind   ChangeKind
+	Kind ChangeKind
+	// Member is the member to add or to remove, for which its ID is enough.
 	Member Member
+	// Voters holds the IDs of the new voters for SetVoters.
+	Voters []MemberID
 }
 
 // PeerStatus is the replication state of another member as tracked by the
@@ -112,25 +126,52 @@
 	if n.role != RoleLeader {
 		return 0, 0, failf("change members", KindNotLeader, "member %x is a %s, not the leader", n.self, n.role)
 	}
-	// Two lists that differ in more than one voter may have disjoint quorums,
-	// and so may two lists that different leaders derived from the same list.
-	// Hence only one change is allowed at a time, and none before the leader has
-	// committed an entry of its own term.
-	if n.MembersPending() || !n.committedInTerm() {
+	// Two lists that different leaders derived from the same list may have disjoint
+	// quorums. Hence only one change is allowed at a time, and none before the leader
+	// has committed an entry of its own term.
+	if n.MembersPending() || n.joint() || !n.committedInTerm() {
 		return 0, 0, failf("change members", KindPending, "the membership change at index %d, or the leader's first entry of its term, is not committed", n.MembersIndex())
 	}
 	list, err := n.membersAfter(c)
 	if err != nil {
 		return 0, 0, err
 	}
-	index = n.appendAsLeader(Entry{Kind: EntryMembers, Members: list})
+	return n.appendMembers(list), n.term, nil
+}
+
+// appendMembers appends an entry with a new member list and returns its index.
+func (n *Node) appendMembers(list []Member) uint64 {
+	index := n.appendAsLeader(Entry{Kind: EntryMembers, Members: list})
 	n.syncPeers()
-	return index, n.term, nil
+	return index
+}
+
+// joint reports whether the current member list is joint.
+func (n *Node) joint() bool { return slices.ContainsFunc(n.Members(), isOldVoter) }
+
+func isVoter(m Member) bool { return m.Voter }
+
+func isOldVoter(m Member) bool { return m.OldVoter }
+
+// completeVoters appends the list without the old voters once the joint list is
+// committed. A new leader completes the change of the one before it.
+func (n *Node) completeVoters() {
+	if n.role != RoleLeader || !n.joint() || n.MembersPending() || !n.committedInTerm() {
+		return
+	}
+	list := slices.Clone(n.Members())
+	for i := range list {
+		list[i].OldVoter = false
+	}
+	n.appendMembers(list)
 }
 
 // membersAfter returns the member list after a change, without modifying the
 // current one.
 func (n *Node) membersAfter(c MemberChange) ([]Member, error) {
+	if c.Kind == SetVoters {
+		return n.membersWithVoters(c.Voters)
+	}
 	const op = "change members"
 	list := slices.Clone(n.Members())
 	at := slices.IndexFunc(list, func(m Member) bool { return m.ID == c.Member.ID })
@@ -140,21 +181,34 @@
 	case c.Kind == AddMember && at >= 0:
 		return nil, failf(op, KindInvalid, "member %x is already in the group", c.Member.ID)
 	case c.Kind == AddMember:
-		c.Member.Voter = false
+		c.Member.Voter, c.Member.OldVoter = false, false
 		return append(list, c.Member), nil
 	case at < 0:
 		return nil, failf(op, KindInvalid, "member %x is not in the group", c.Member.ID)
-	case c.Kind == PromoteMember && list[at].Voter:
-		return nil, failf(op, KindInvalid, "member %x is already a voter", c.Member.ID)
-	case c.Kind == PromoteMember && !n.caughtUp(c.Member.ID):
-		return nil, failf(op, KindPending, "member %x has not caught up with the log", c.Member.ID)
-	case c.Kind == PromoteMember:
-		list[at].Voter = true
-		return list, nil
-	}
-	list = slices.Delete(list, at, at+1)
-	if !slices.ContainsFunc(list, func(m Member) bool { return m.Voter }) {
-		return nil, failf(op, KindInvalid, "member %x is the last voter and cannot be removed", c.Member.ID)
+	case list[at].Voter:
+		return nil, failf(op, KindInvalid, "member %x is a voter and cannot be removed", c.Member.ID)
+	}
+	return slices.Delete(list, at, at+1), nil
+}
+
+// membersWithVoters returns the joint list of a change to the given voters.
+func (n *Node) membersWithVoters(voters []MemberID) ([]Member, error) {
+	const op = "set voters"
+	for _, id := range voters {
+		m, ok := n.member(id)
+		switch {
+		case !ok:
+			return nil, failf(op, KindInvalid, "member %x is not in the group", id)
+		case !m.Voter && id != n.self && !n.caughtUp(id):
+			return nil, failf(op, KindPending, "member %x has not caught up with the log", id)
+		}
+	}
+	if len(voters) == 0 {
+		return nil, failf(op, KindInvalid, "a group needs a voter")
+	}
+	list := slices.Clone(n.Members())
+	for i, m := range list {
+		list[i].OldVoter, list[i].Voter = m.Voter, slices.Contains(voters, m.ID)
 	}
 	return list, nil
 }
@@ -182,13 +236,13 @@
 
 // membership reports whether this member is listed in, and whether it is a voter
 // in, the current member list, the last committed one or one in between. A
-// leader that appended its own removal may hold the longest log: until the
-// removal is committed, the group may need its candidacy and its vote.
+// leader that appended its own demotion may hold the longest log: until the
+// change is committed, the group may need its candidacy and its vote.
 func (n *Node) membership() (listed, voter bool) {
 	for i := len(n.memberLists) - 1; i >= 0; i-- {
 		for _, m := range n.memberLists[i].members {
 			if m.ID == n.self {
-				listed, voter = true, voter || m.Voter
+				listed, voter = true, voter || m.Voter || m.OldVoter
 			}
 		}
 		if n.memberLists[i].index <= n.commit {
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -229,14 +229,34 @@
 	n.confirmReads()
 }
 
-// advanceCommit commits the entries that are durable on a quorum of voters. Only an
-// entry of the current term is committed this way; it commits all entries before
-// it.
+// advanceCommit commits the entries that are durable on a quorum. Only an entry of
+// the current term is committed this way; it commits all entries before it.
 func (n *Node) advanceCommit() {
+	index := n.quorumIndex(isVoter)
+	if n.joint() {
+		index = min(index, n.quorumIndex(isOldVoter))
+	}
+	if index <= n.commit || n.termAt(index) != n.term {
+		return
+	}
+	n.commitTo(index)
+	n.assignReadRounds()
+	// A leader that is no longer a voter remains the leader until that change is
+	// committed.
+	if m, _ := n.member(n.self); !m.Voter && !m.OldVoter && !n.MembersPending() {
+		n.becomeFollower(n.term, 0)
+		return
+	}
+	n.completeVoters()
+}
+
+// quorumIndex returns the largest index up to which a majority of the members in the
+// set has the entries, or 0 if the set is empty.
+func (n *Node) quorumIndex(inSet func(Member) bool) uint64 {
 	var matches []uint64
 	for _, m := range n.Members() {
 		switch p := n.peers[m.ID]; {
-		case !m.Voter:
+		case !inSet(m):
 		case m.ID == n.self:
 			matches = append(matches, n.log.lastDurable)
 		case p != nil:
@@ -244,19 +264,8 @@
 		}
 	}
 	if len(matches) == 0 {
-		return
+		return 0
 	}
 	slices.Sort(matches)
-	// The lower median is the largest index up to which a quorum has the entries.
-	index := matches[(len(matches)-1)/2]
-	if index <= n.commit || n.termAt(index) != n.term {
-		return
-	}
-	n.commitTo(index)
-	n.assignReadRounds()
-	// A leader that removes itself remains the leader until the removal is
-	// committed.
-	if _, ok := n.member(n.self); !ok && !n.MembersPending() {
-		n.becomeFollower(n.term, 0)
-	}
+	return matches[(len(matches)-1)/2]
 }
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -16,8 +16,13 @@
 	Name    model.Process
 	Zone    model.Zone
 	Address string
-	// Voter is false while the member catches up with the log.
+	// Voter is set for a member of the quorum. Other members are standbys: they
+	// replicate the log and can become voters at once.
 	Voter bool
+	// OldVoter is set only in a joint list, for the voters of the list before it.
+	// Elections and commits then need a majority of the voters and one of the old
+	// voters.
+	OldVoter bool
 }
 
 // EntryKind is the type of a log entry.
--- a/io/proto/codec/raft.go
+++ b/io/proto/codec/raft.go
@@ -47,11 +47,12 @@
 // GroupMemberToWire converts a member of the control group to its message.
 func GroupMemberToWire(m raft.Member) *wirepb.GroupMember {
 	return &wirepb.GroupMember{
-		Id:      uint64(m.ID),
-		Name:    validUTF8(m.Name),
-		Zone:    validUTF8(m.Zone),
-		Address: validUTF8(m.Address),
-		Voter:   m.Voter,
+		Id:       uint64(m.ID),
+		Name:     validUTF8(m.Name),
+		Zone:     validUTF8(m.Zone),
+		Address:  validUTF8(m.Address),
+		Voter:    m.Voter,
+		OldVoter: m.OldVoter,
 	}
 }
 
@@ -62,11 +63,12 @@
 		return raft.Member{}, &Error{Op: "group member", Kind: KindMissing, Err: fmt.Errorf("id is 0; ids are greater than 0")}
 	}
 	return raft.Member{
-		ID:      raft.MemberID(w.GetId()),
-		Name:    model.Process(w.GetName()),
-		Zone:    model.Zone(w.GetZone()),
-		Address: w.GetAddress(),
-		Voter:   w.GetVoter(),
+		ID:       raft.MemberID(w.GetId()),
+		Name:     model.Process(w.GetName()),
+		Zone:     model.Zone(w.GetZone()),
+		Address:  w.GetAddress(),
+		Voter:    w.GetVoter(),
+		OldVoter: w.GetOldVoter(),
 	}, nil
 }
 
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -134,10 +134,9 @@
 	// Controls lists the members of the control group, sorted by name. It contains
 	// this process.
 	Controls []model.Member
-	// GroupSize is the number of members below which the control group never
-	// shrinks: members that do not answer are removed only while the group has more.
-	// If GroupSize is below the number of Controls, that number applies. It has no
-	// key in the settings file.
+	// GroupSize is the number of voters of the control group; further members are
+	// standbys. If it is 0, the number of Controls applies. It has no key in the
+	// settings file.
 	GroupSize int
 	// Entries lists the entry processes, sorted by name.
 	Entries []model.Member
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 
 	"github.com/charmbracelet/log"
@@ -131,13 +130,10 @@
 	c.memberLog = newMemberLog(lg, clk, hello)
 	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *memberAccess]{
 		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
-		Configured: cfg.Controls, MinMembers: max(cfg.GroupSize, len(cfg.Controls)), Peers: c.client, Group: c.member, Clock: clk,
+		Configured: cfg.Controls, Peers: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
 			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " with a new member ID"})
 		},
-		Removed: func(id raft.MemberID) {
-			c.record(model.Event{Kind: model.EventRole, Detail: fmt.Sprintf("removed member %x, which did not answer", id)})
-		},
 		Asked: c.memberLog.asked,
 	})
 	waves := mover.NewWavePlanner(maint.DeadlinePacer{SlowPermille: slowUnservedPermille, HaltPermille: haltUnservedPermille},
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -122,9 +122,14 @@
 
 func (r *groupRunner) groupConfig() group.Config {
 	c := r.ctrl.cfg.Consensus
+	voters := r.ctrl.cfg.GroupSize
+	if voters == 0 {
+		voters = len(r.ctrl.cfg.Controls)
+	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(r.ctrl.cfg.Name))
 	return group.Config{
+		Voters: voters,
 		Raft: raft.Config{
 			ElectionTimeout: c.ElectionMillis, HeartbeatInterval: c.HeartbeatMillis,
 			MaxAppendBytes: maxAppendBytes, ChunkBytes: snapshotChunkBytes, KeepEntries: keptEntries,
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -93,22 +93,7 @@
 // senders, and returns this process's view of the group.
 func (m *memberAccess) Refresh(ctx context.Context) boot.View {
 	s := m.queryStatus(ctx)
-	v := boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
-	for _, p := range s.Peers {
-		if !p.RecentlyActive {
-			v.Silent = append(v.Silent, p.Member.ID)
-		}
-	}
-	return v
-}
-
-// Remove removes a member. It fails unless this process is the leader.
-func (m *memberAccess) Remove(ctx context.Context, id raft.MemberID) error {
-	member, err := m.getMember()
-	if err != nil {
-		return err
-	}
-	return member.Remove(ctx, id)
+	return boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
 }
 
 // Join adds a member. It fails unless this process is the leader. The senders keep
@@ -131,7 +116,7 @@
 	members := m.queryStatus(context.Background()).Members
 	h.Initialised = h.Initialised || len(members) > 0
 	for _, x := range members {
-		if !x.Voter {
+		if !x.Voter || x.OldVoter {
 			return h
 		}
 	}
--- a/io/trans/roles/memberlog.go
+++ b/io/trans/roles/memberlog.go
@@ -43,7 +43,8 @@
 	if !slices.Equal(s.Members, before.Members) {
 		voters := describeMembers(s.Members, func(m raft.Member) bool { return m.Voter })
 		standbys := describeMembers(s.Members, func(m raft.Member) bool { return !m.Voter })
-		l.log.Info("members-changed", "index", s.MembersIndex, "term", s.Term, "voters", voters, "standbys", standbys)
+		oldVoters := describeMembers(s.Members, func(m raft.Member) bool { return m.OldVoter })
+		l.log.Info("members-changed", "index", s.MembersIndex, "term", s.Term, "voters", voters, "standbys", standbys, "old-voters", oldVoters)
 	}
 	// A process that was in a group before it started may be a voter from the outset.
 	restarted := l.before == nil && l.self.Initialised
@@ -112,7 +113,7 @@
 func describeSilentVoters(peers []raft.PeerStatus) string {
 	var all []string
 	for _, p := range peers {
-		if p.Member.Voter && !p.RecentlyActive {
+		if (p.Member.Voter || p.Member.OldVoter) && !p.RecentlyActive {
 			all = append(all, fmt.Sprintf("%s:%d", describeMember(p.Member), p.SilentMillis))
 		}
 	}
