Let a new control process join without waiting for processes that are gone

A starting process asked the configured processes in turn, for 500 ms each, and asked to join once a second, in calls without a timeout of their own; one machine that was gone could use up all of a check's 5 s.

Change: the Hello calls of a round run at the same time and end after 500 ms in total. Client.Join asks all members at the same time, and the leaders that they name, with 500 ms for each attempt. A process that is not listed asks every 200 ms, and asks the members of its own list beside the configured ones; one that was removed while it was down asks after two checks without a leader. A check takes 1 s at most. A process that was added learns the leader's ID by Hello, because it could not reply to a leader that its settings do not name. AwaitJoinMode uses reloaded settings. Join and LeaderClient fail with KindNotLeader if no process is known; the first reported success, the second divided by zero.

The time from the start of a process to its vote was not measured.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -4,14 +4,16 @@
 	"context"
 	"slices"
 	"sort"
+	"sync"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
+	"camphorridge/core/state/ring"
 )
 
 const (
-	// helloTimeout is the timeout of one Hello call.
+	// helloTimeout bounds a round of Hello calls to all members.
 	helloTimeout clock.Millis = 500
 	// roundDelay is the time between two rounds of Hello calls to all members.
 	roundDelay clock.Millis = 200
@@ -37,7 +39,7 @@
 	// Hello asks a control process to describe itself.
 	Hello(ctx context.Context, m model.Member) (Hello, error)
 	// Join asks the group that the members belong to for membership of self. It returns
-	// the address of the process that answered, or that was called last.
+	// the address of the leader that added self.
 	Join(ctx context.Context, members []model.Member, self raft.Member) (address string, err error)
 }
 
@@ -106,10 +108,12 @@
 }
 
 // AwaitJoinMode asks the configured members until a mode other than JoinModeRetry is
-// decided or done is closed; in the latter case it returns JoinModeRetry.
-func AwaitJoinMode[P PeerClient](peers P, self Hello, configured []model.Member, c clock.Clock, done <-chan struct{}) (JoinMode, []raft.Member) {
+// decided or done is closed; in the latter case it returns JoinModeRetry. configured is
+// called before each round, because the settings may change in the meantime.
+func AwaitJoinMode[P PeerClient](peers P, self Hello, configured func() []model.Member, c clock.Clock, done <-chan struct{}) (JoinMode, []raft.Member) {
 	for {
-		mode, members := DecideJoinMode(self.ID, configured, collectAnswers(peers, self, configured))
+		current := configured()
+		mode, members := DecideJoinMode(self.ID, current, collectAnswers(peers, self, current))
 		if mode != JoinModeRetry {
 			return mode, members
 		}
@@ -121,21 +125,29 @@
 	}
 }
 
-// collectAnswers calls Hello for each configured member, one after the other. It returns
-// self and the answers; members that do not answer within helloTimeout are left out.
+// collectAnswers calls Hello for all configured members at the same time, so that members
+// that do not answer delay the others by helloTimeout at most in total. It returns self and
+// the answers within helloTimeout, the latter sorted by name.
 func collectAnswers[P PeerClient](peers P, self Hello, configured []model.Member) []Hello {
-	answers := []Hello{self}
+	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout.Duration())
+	defer cancel()
+	received := ring.New[Hello](max(len(configured), 1))
+	var wg sync.WaitGroup
 	for _, m := range configured {
 		if m.Name == self.Name {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), helloTimeout.Duration())
-		h, err := peers.Hello(ctx, m)
-		cancel()
-		if err == nil {
-			answers = append(answers, h)
-		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if h, err := peers.Hello(ctx, m); err == nil {
+				received.TryPut(h)
+			}
+		}()
 	}
+	wg.Wait()
+	answers := received.Drain([]Hello{self}, len(configured)+1)
+	sort.Slice(answers[1:], func(i, j int) bool { return answers[1+i].Name < answers[1+j].Name })
 	return answers
 }
 
--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -11,15 +11,19 @@
 )
 
 const (
-	// checkInterval is the time between two checks of the member list.
-	checkInterval = clock.Second
-	// checkTimeout is the timeout of one check. Adding a member can take long, because
-	// its old ID is removed only after an election timeout without contact.
-	checkTimeout = 5 * clock.Second
+	// checkInterval is the time between two checks of the member list, and
+	// unlistedCheckInterval the time between them in a process that is not in the list:
+	// until it is, the group can bear one loss fewer.
+	checkInterval                      = clock.Second
+	unlistedCheckInterval clock.Millis = 200
+	// checkTimeout bounds the calls of one check. A process that lost its disk is added
+	// only after an election timeout without contact to its old ID; if that takes longer
+	// than checkTimeout, the next check continues.
+	checkTimeout = clock.Second
 	// maxChecksWithoutLeader is the number of consecutive checks without a known
 	// leader after which a listed member asks to join: it may have been removed while
 	// it was not running.
-	maxChecksWithoutLeader = 3
+	maxChecksWithoutLeader = 2
 )
 
 // View is a member's view of its group.
@@ -36,12 +40,14 @@
 	// Refresh passes the addresses of the current members to the message transport and
 	// returns this process's view of the group.
 	Refresh(ctx context.Context) View
+	// AddAddress passes the address of a control process to the message transport.
+	AddAddress(m raft.Member)
 	// Join adds a member; only the leader can. If a listed member has the same name,
 	// Join waits until that one no longer answers.
 	Join(ctx context.Context, m raft.Member) error
 }
 
-// MembershipManager checks the member list once per checkInterval and refreshes the
+// MembershipManager checks the member list at regular intervals and refreshes the
 // members' addresses. On the leader it adds processes that lost their data folder,
 // under their new ID. In a process that is not a member it asks to become one.
 type MembershipManager[P PeerClient, G Group] struct {
@@ -86,7 +92,7 @@
 
 // JoinAttempt is the outcome of a request for membership of this process.
 type JoinAttempt struct {
-	// Address is that of the process that answered, or that was called last.
+	// Address is that of the leader that added this process; empty after an error.
 	Address string
 	// Err is the text of the error; empty if this process is a member now.
 	Err string
@@ -107,12 +113,17 @@
 // goroutine.
 func (mm *MembershipManager[P, G]) Configure(all []model.Member) { mm.configured.Store(&all) }
 
+// Configured returns the configured control processes. It may be called from any
+// goroutine.
+func (mm *MembershipManager[P, G]) Configured() []model.Member { return *mm.configured.Load() }
+
 // Run checks the member list until Stop is called, and then returns nil.
 func (mm *MembershipManager[P, G]) Run() error {
+	interval := unlistedCheckInterval
 	for {
 		select {
-		case <-mm.clock.After(checkInterval):
-			mm.check()
+		case <-mm.clock.After(interval):
+			interval = mm.check()
 		case <-mm.done:
 			return nil
 		}
@@ -122,45 +133,78 @@
 // Stop ends Run. It must be called at most once.
 func (mm *MembershipManager[P, G]) Stop() { close(mm.done) }
 
-func (mm *MembershipManager[P, G]) check() {
+// check makes one check and returns the time until the next one.
+func (mm *MembershipManager[P, G]) check() clock.Millis {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Duration())
 	defer cancel()
 	v := mm.group.Refresh(ctx)
 	if !v.IsLeader {
-		mm.requestMembership(ctx, v)
-		return
+		return mm.requestMembership(ctx, v)
 	}
 	mm.checksWithoutLeader = 0
 	self := mm.self
 	self.Initialised = true
-	configured := *mm.configured.Load()
+	configured := mm.Configured()
 	m, ok := UnlistedMember(v.Members, configured, collectAnswers(mm.peers, self, configured))
 	if ok && mm.group.Join(ctx, m) == nil {
 		mm.joined(m)
 	}
+	return checkInterval
 }
 
 // requestMembership asks the group for membership when this process is not a member,
 // or may have been removed because it has had no leader for maxChecksWithoutLeader
-// checks. The request has no effect for a member that is still listed.
-func (mm *MembershipManager[P, G]) requestMembership(ctx context.Context, v View) {
-	listed := slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == mm.self.ID })
+// checks. The request has no effect for a member that is still listed. It returns the
+// time until the next check.
+func (mm *MembershipManager[P, G]) requestMembership(ctx context.Context, v View) clock.Millis {
+	interval := unlistedCheckInterval
+	if slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == mm.self.ID }) {
+		interval = checkInterval
+	}
 	mm.checksWithoutLeader++
 	if v.HasLeader {
 		mm.checksWithoutLeader = 0
 	}
-	if mm.member.ID == 0 || (listed && mm.checksWithoutLeader < maxChecksWithoutLeader) {
-		return
+	if mm.member.ID == 0 || (interval == checkInterval && mm.checksWithoutLeader < maxChecksWithoutLeader) {
+		return interval
 	}
-	others := slices.DeleteFunc(slices.Clone(*mm.configured.Load()), func(m model.Member) bool { return m.Name == mm.self.Name })
-	// After an error, the next check asks again.
-	address, err := mm.peers.Join(ctx, others, mm.member)
+	address, err := mm.peers.Join(ctx, mm.others(v.Members), mm.member)
 	attempt := JoinAttempt{Address: address}
 	if err != nil {
+		// The next check asks again.
 		attempt.Err = err.Error()
+	} else {
+		mm.addLeader(ctx, address)
 	}
 	if attempt != mm.lastAsked {
 		mm.lastAsked = attempt
 		mm.asked(attempt)
 	}
+	return interval
+}
+
+// others returns the other control processes in the settings and in the member list,
+// without repeated addresses. The settings may name only processes that are gone, and
+// the list of a process that was removed is out of date.
+func (mm *MembershipManager[P, G]) others(members []raft.Member) []model.Member {
+	all := slices.Clone(mm.Configured())
+	for _, m := range members {
+		all = append(all, model.Member{Name: m.Name, Zone: m.Zone, Address: m.Address})
+	}
+	seen := map[string]bool{}
+	return slices.DeleteFunc(all, func(m model.Member) bool {
+		repeated := seen[m.Address]
+		seen[m.Address] = true
+		return repeated || m.Name == mm.self.Name
+	})
+}
+
+// addLeader passes the address of the leader to the message transport. Without it, a
+// process whose settings do not name the leader could not reply to it, and would never
+// receive the member list.
+func (mm *MembershipManager[P, G]) addLeader(ctx context.Context, address string) {
+	h, err := mm.peers.Hello(ctx, model.Member{Address: address})
+	if err == nil && h.ID != 0 {
+		mm.group.AddAddress(raft.Member{ID: h.ID, Name: h.Name, Address: address})
+	}
 }
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
+	"camphorridge/core/state/ring"
 )
 
 // fakeGroup is a Group whose view the test sets. It counts the calls of fakePeers.Join,
@@ -20,27 +22,49 @@
 	joinAddress string
 	joinErr     error
 	asked       []JoinAttempt
+	// asksOf lists the members that the last call of fakePeers.Join asked, and addresses
+	// the members passed to AddAddress.
+	asksOf    []model.Member
+	addresses []raft.Member
 }
 
+func (f *fakeGroup) AddAddress(m raft.Member) { f.addresses = append(f.addresses, m) }
+
 func (f *fakeGroup) Refresh(context.Context) View            { return f.view }
 func (f *fakeGroup) Join(context.Context, raft.Member) error { return nil }
 
-// fakePeers is a PeerClient without reachable peers. It counts the Join calls in group.
-type fakePeers struct{ group *fakeGroup }
+// fakePeers is a PeerClient that counts the Join calls in group. Only the peers at the
+// addresses in hellos answer Hello, and only before the call is cancelled; the others do
+// not answer until then. Calls of Hello pass their deadlines to deadlines, if it is set.
+type fakePeers struct {
+	group     *fakeGroup
+	hellos    map[string]Hello
+	deadlines *ring.Ring[time.Time]
+}
 
-func (f fakePeers) Hello(context.Context, model.Member) (Hello, error) {
+func (f fakePeers) Hello(ctx context.Context, m model.Member) (Hello, error) {
+	if deadline, ok := ctx.Deadline(); ok && f.deadlines != nil {
+		f.deadlines.TryPut(deadline)
+	}
+	if h, ok := f.hellos[m.Address]; ok && ctx.Err() == nil {
+		return h, nil
+	}
+	<-ctx.Done()
 	return Hello{}, errors.New("no answer")
 }
 
-func (f fakePeers) Join(context.Context, []model.Member, raft.Member) (string, error) {
+func (f fakePeers) Join(_ context.Context, members []model.Member, _ raft.Member) (string, error) {
 	f.group.joinCalls++
+	f.group.asksOf = members
 	return f.group.joinAddress, f.group.joinErr
 }
 
 func newTestManager() (*MembershipManager[fakePeers, *fakeGroup], *fakeGroup) {
 	g, c := &fakeGroup{}, clock.NewFake(1000)
 	mm := NewMembershipManager(Config[fakePeers, *fakeGroup]{
-		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"}, Peers: fakePeers{g}, Group: g,
+		Self: Hello{Name: "c4", ID: 4}, Member: raft.Member{ID: 4, Name: "c4"},
+		Peers: fakePeers{group: g, hellos: map[string]Hello{"c1:1": {Name: "c1", ID: 1}, "c2:1": {Name: "c2", ID: 2}}},
+		Group: g,
 		Clock: c.Clock(), Joined: func(raft.Member) {},
 		Asked: func(a JoinAttempt) { g.asked = append(g.asked, a) },
 	})
@@ -91,3 +115,52 @@
 	mm.check()
 	assert.DeepEqual(t, g.asked, []JoinAttempt{{Address: "c1:1", Err: "no answer"}, {Address: "c2:1"}})
 }
+
+// TestUnresponsivePeersDoNotAddUp guards against a starting process, or a leader, that
+// waits for each process that is gone in turn: the group would lack a voter for longer.
+func TestUnresponsivePeersDoNotAddUp(t *testing.T) {
+	configured := []model.Member{{Name: "c0", Address: "c0:1"}, {Name: "c1", Address: "c1:1"}, {Name: "c2", Address: "c2:1"}, {Name: "c3", Address: "c3:1"}}
+	peers := fakePeers{
+		hellos:    map[string]Hello{"c1:1": {Name: "c1", ID: 1}, "c2:1": {Name: "c2", ID: 2}},
+		deadlines: ring.New[time.Time](len(configured)),
+	}
+	answers := collectAnswers(peers, Hello{Name: "c4", ID: 4}, configured)
+	deadlines := peers.deadlines.Drain(nil, len(configured))
+	assert.Equal(t, len(deadlines), len(configured))
+	for _, d := range deadlines {
+		assert.Equal(t, d, deadlines[0], "the calls must end at the same time")
+	}
+	assert.DeepEqual(t, answers, []Hello{{Name: "c4", ID: 4}, {Name: "c1", ID: 1}, {Name: "c2", ID: 2}})
+}
+
+// TestListedMembersAreAsked guards against a process that is never added because none of
+// the processes in its settings exists any more, although it knows members from its own
+// list, and against one that asks a process twice or itself.
+func TestListedMembersAreAsked(t *testing.T) {
+	mm, g := newTestManager()
+	mm.Configure([]model.Member{{Name: "c1", Address: "c1:1"}, {Name: "c4", Address: "c4:1"}})
+	g.view = View{Members: []raft.Member{{ID: 1, Name: "c1", Address: "c1:1"}, {ID: 2, Name: "c2", Address: "c2:1"}, {ID: 9, Name: "c4", Address: "c4:1"}}}
+	mm.check()
+	assert.DeepEqual(t, g.asksOf, []model.Member{{Name: "c1", Address: "c1:1"}, {Name: "c2", Address: "c2:1"}})
+}
+
+// TestLeaderAddressIsLearnt guards against a process that is listed but never receives
+// the list, because its settings do not name the leader and it cannot reply to it.
+func TestLeaderAddressIsLearnt(t *testing.T) {
+	mm, g := newTestManager()
+	g.joinAddress = "c2:1"
+	mm.check()
+	assert.DeepEqual(t, g.addresses, []raft.Member{{ID: 2, Name: "c2", Address: "c2:1"}})
+}
+
+// TestCheckInterval guards against a process that waits long before it asks again to be
+// added, and against members that check the list more often than needed.
+func TestCheckInterval(t *testing.T) {
+	mm, g := newTestManager()
+	g.joinErr = errors.New("no answer")
+	assert.Equal(t, mm.check(), unlistedCheckInterval)
+	g.view = View{Members: []raft.Member{{ID: 4}}, HasLeader: true}
+	assert.Equal(t, mm.check(), checkInterval)
+	g.view.IsLeader = true
+	assert.Equal(t, mm.check(), checkInterval)
+}
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/twitchtv/twirp"
 
 	"camphorridge/core/coord/boot"
+	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
+	"camphorridge/core/state/ring"
 	"camphorridge/io/proto/codec"
 	"camphorridge/io/proto/wirepb"
 )
@@ -83,26 +89,86 @@
 	return &wirepb.JoinResponse{Stamp: codec.StampToWire(s.Stamps.Next())}, nil
 }
 
-// Join asks the leader of the control group, to which the members belong, to add
-// self. It tries the members in turn; if one names the leader's address, it tries
-// that address next. It returns the address that answered or, if all attempts fail, the
-// last one that it tried, with the error, which names the member whose turn it was, even
-// if the leader that this member named returned it.
-func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) (tried string, lastErr error) {
+// joinTimeout bounds one attempt of Join. The leader answers once the list contains the
+// new member; a later attempt continues one that takes longer.
+const joinTimeout clock.Millis = 500
+
+// joinResult is the result of one attempt of Join.
+type joinResult struct {
+	// called is the process that was called, and leader the one that it named.
+	called model.Member
+	leader model.Member
+	// err is nil if the called process added the new member.
+	err *Error
+}
+
+// Join asks the leader of the control group, to which the members belong, to add self,
+// and returns the leader's address. It asks all members at the same time, so that one
+// that does not answer delays nothing, and the processes that they name as the leader
+// once each. If all attempts fail, the error contains those of all of them.
+func (c *Client) Join(ctx context.Context, members []model.Member, self raft.Member) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*joinTimeout.Duration())
+	defer cancel()
+	maxCalls := 2 * len(members)
+	results := ring.New[joinResult](max(maxCalls, 1))
+	called := map[string]bool{}
+	open := 0
+	call := func(m model.Member) {
+		if m.Address == "" || called[m.Address] {
+			return
+		}
+		called[m.Address] = true
+		open++
+		go func() { results.TryPut(c.joinThrough(ctx, m, self)) }()
+	}
+	for _, m := range members {
+		call(m)
+	}
+	failures := map[string]string{}
+	for ; open > 0; open-- {
+		r := <-results.C()
+		if r.err == nil {
+			return r.called.Address, nil
+		}
+		failures[r.called.Address] = r.err.Error()
+		if len(called) < maxCalls {
+			call(configuredAddress(members, r.leader))
+		}
+	}
+	if len(failures) == 0 {
+		return "", &Error{Op: "join", Kind: KindNotLeader, Err: errors.New("no other control process is known")}
+	}
+	var texts []string
+	for _, address := range slices.Sorted(maps.Keys(failures)) {
+		texts = append(texts, failures[address])
+	}
+	return "", &Error{Op: "join", Kind: KindOutcomeUnknown, Err: errors.New(strings.Join(texts, "; "))}
+}
+
+// joinThrough asks one process to add self.
+func (c *Client) joinThrough(ctx context.Context, m model.Member, self raft.Member) joinResult {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout.Duration())
+	defer cancel()
+	_, err := c.remote(m.Address).consensus.Join(ctx, &wirepb.JoinRequest{
+		Member: codec.GroupMemberToWire(self), Stamp: c.stamp(),
+	})
+	if err == nil {
+		return joinResult{called: m}
+	}
+	mapped, leader := fromTwirp("join through "+m.Address, err)
+	return joinResult{called: m, leader: leader, err: mapped}
+}
+
+// configuredAddress returns the leader that a member named, with the address in the list
+// of members if the leader is in it: the address that reaches it may differ between
+// callers.
+func configuredAddress(members []model.Member, leader model.Member) model.Member {
 	for _, m := range members {
-		for address, hops := m.Address, 0; address != "" && hops < 2; hops++ {
-			tried = address
-			_, err := c.remote(address).consensus.Join(ctx, &wirepb.JoinRequest{
-				Member: codec.GroupMemberToWire(self), Stamp: c.stamp(),
-			})
-			if err == nil {
-				return tried, nil
-			}
-			mapped, leader := fromTwirp("join through "+string(m.Name), err)
-			lastErr, address = mapped, leader.Address
+		if m.Name != "" && m.Name == leader.Name {
+			return m
 		}
 	}
-	return tried, lastErr
+	return leader
 }
 
 // EventsServer serves the event log of this process.
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -33,7 +33,7 @@
 	client *Client
 	clock  clock.Clock
 	mu     sync.Mutex
-	// members are tried in rotation; at least one.
+	// members are tried in rotation.
 	members []model.Member
 	// leaderAddress is the address that last responded as the leader; empty if
 	// unknown.
@@ -46,8 +46,8 @@
 	avoidUntil map[string]clock.Millis
 }
 
-// NewLeaderClient returns a client that looks for the leader among members, of
-// which there must be at least one.
+// NewLeaderClient returns a client that looks for the leader among members. While there
+// are none, calls fail with KindNotLeader.
 func NewLeaderClient(c *Client, members []model.Member, clk clock.Clock) *LeaderClient {
 	return &LeaderClient{members: members, client: c, clock: clk, avoidUntil: map[string]clock.Millis{}}
 }
@@ -110,6 +110,11 @@
 		if next == "" {
 			next = l.nextMember()
 		}
+		if next == "" {
+			// The delay bounds the rate at which callers repeat the call.
+			l.waitRound(ctx)
+			return &Error{Op: op, Kind: KindNotLeader, Err: errors.New("no control process is known")}
+		}
 		mapped, leader := l.attempt(ctx, op, next, timeout, f)
 		if mapped == nil {
 			l.setKnownLeader(next)
@@ -126,7 +131,7 @@
 		}
 		// The delay also limits the rate of attempts at two members that name
 		// each other as the leader.
-		if attempts%len(l.currentMembers()) == 0 {
+		if attempts%max(len(l.currentMembers()), 1) == 0 {
 			l.waitRound(ctx)
 		}
 		if ctx.Err() != nil {
@@ -154,12 +159,15 @@
 	return mapped, leader
 }
 
-// nextMember returns the address of the next member in rotation. It skips
-// avoided members as long as there are others, so that an unresponsive member
-// does not use up the time of one call after another.
+// nextMember returns the address of the next member in rotation, or an empty string if
+// there are no members. It skips avoided members as long as there are others, so that
+// an unresponsive member does not use up the time of one call after another.
 func (l *LeaderClient) nextMember() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.members) == 0 {
+		return ""
+	}
 	now := l.clock.Now()
 	for range l.members {
 		m := l.members[l.nextMemberIndex%len(l.members)]
@@ -173,7 +181,7 @@
 	return m.Address
 }
 
-// SetMembers replaces the members that are tried; there must be at least one.
+// SetMembers replaces the members that are tried.
 func (l *LeaderClient) SetMembers(all []model.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -96,6 +96,9 @@
 	return boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
 }
 
+// AddAddress passes the address of a control process to the senders.
+func (m *memberAccess) AddAddress(x raft.Member) { m.senders.AddMembers([]raft.Member{x}) }
+
 // Join adds a member. It fails unless this process is the leader. The senders keep
 // the address of x even if Join fails.
 func (m *memberAccess) Join(ctx context.Context, x raft.Member) error {
--- a/io/trans/roles/memberlog.go
+++ b/io/trans/roles/memberlog.go
@@ -83,7 +83,7 @@
 func (l *memberLog) asked(a boot.JoinAttempt) {
 	sinceStart := l.clock.Now() - l.startedAt
 	if a.Err != "" {
-		l.log.Warn("join-failed", "address", a.Address, "since-start-ms", sinceStart, "err", a.Err)
+		l.log.Warn("join-failed", "since-start-ms", sinceStart, "err", a.Err)
 		return
 	}
 	l.log.Info("join-answered", "address", a.Address, "since-start-ms", sinceStart)
--- a/io/trans/roles/memberlog_test.go
+++ b/io/trans/roles/memberlog_test.go
@@ -26,7 +26,7 @@
 	l := newMemberLog(lg, fake.Clock(), boot.Hello{Name: "c1", ID: 0xa1})
 
 	fake.Advance(200)
-	l.asked(boot.JoinAttempt{Address: "c2:7060", Err: "join through c2: no answer"})
+	l.asked(boot.JoinAttempt{Err: "join through c2: no answer"})
 	fake.Advance(1000)
 	l.asked(boot.JoinAttempt{Address: "c3:7060"})
 	c1, c2, c3 := raft.Member{ID: 0xa1, Name: "c1"}, raft.Member{ID: 0xa2, Name: "c2", Voter: true}, raft.Member{ID: 0xa3, Name: "c3", Voter: true}
