List control processes in the zones that they name themselves

On the platform the settings contain only the addresses of other control processes, so that founders, and processes that the leader adds, were listed in the zone "-", and the choice of voters could not spread them over zones.

Change: Hello carries the zone of the process, which respondingMembers uses in place of the configured one; an answer of an older version has none, and the configured zone applies. A process stores and announces its own zone even if its list of control processes contains it in another.

Measured: the tests of core/coord/boot, io/trans/peers and io/trans/roles pass, with new ones for the zones of founders and for all fields of Hello.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sort"
@@ -22,6 +23,9 @@
 // Hello describes a control process to the others.
 type Hello struct {
 	Name model.Process
+	// Zone is the zone of the process; empty in the answer of an older version. The
+	// settings of other processes may not contain it.
+	Zone model.Zone
 	// ID is the member ID in the data folder of the process; 0 if it has none.
 	ID raft.MemberID
 	// Initialised is set once the process has been in a group. It is durable and
@@ -91,7 +95,8 @@
 }
 
 // respondingMembers returns the configured processes that answered with a member ID,
-// sorted by name.
+// sorted by name, in the zones that they name themselves. Zones of listed members are not
+// corrected: a zone only ranks the candidates for voters.
 func respondingMembers(configured []model.Member, answers []Hello) []raft.Member {
 	byName := make(map[model.Process]Hello, len(answers))
 	for _, a := range answers {
@@ -100,7 +105,7 @@
 	var members []raft.Member
 	for _, m := range configured {
 		if a := byName[m.Name]; a.ID != 0 {
-			members = append(members, raft.Member{ID: a.ID, Name: m.Name, Zone: m.Zone, Address: m.Address})
+			members = append(members, raft.Member{ID: a.ID, Name: m.Name, Zone: cmp.Or(a.Zone, m.Zone), Address: m.Address})
 		}
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -56,3 +56,15 @@
 	_, ok = UnlistedMember(members, configured, []Hello{{Name: "c3", ID: 3}})
 	assert.Assert(t, !ok, "a listed member whose start was interrupted must not be added")
 }
+
+// TestFoundersAreInTheirOwnZones guards against voters that are not spread over zones
+// because the settings do not contain the zones of other processes.
+func TestFoundersAreInTheirOwnZones(t *testing.T) {
+	configured := []model.Member{{Name: "c1", Zone: "-"}, {Name: "c2", Zone: "-"}, {Name: "c3", Zone: "-"}}
+	answers := []Hello{{Name: "c1", Zone: "zone-a", ID: 1}, {Name: "c2", Zone: "zone-b", ID: 2}, {Name: "c3", ID: 3}}
+	mode, members := DecideJoinMode(1, configured, answers)
+	assert.Equal(t, mode, JoinModeFounder)
+	for i, zone := range []model.Zone{"zone-a", "zone-b", "-"} {
+		assert.Equal(t, members[i].Zone, zone)
+	}
+}
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -49,7 +49,7 @@
 	s.Stamps.Observe(codec.StampFromWire(r.GetStamp()))
 	h := s.Group.Hello()
 	w := &wirepb.HelloResponse{
-		Name: string(h.Name), Id: uint64(h.ID), Initialised: h.Initialised,
+		Name: string(h.Name), Zone: string(h.Zone), Id: uint64(h.ID), Initialised: h.Initialised,
 		Stamp: codec.StampToWire(s.Stamps.Next()),
 	}
 	for _, m := range h.Founders {
@@ -66,7 +66,7 @@
 	}
 	c.observe(resp.GetStamp())
 	h := boot.Hello{
-		Name: model.Process(resp.GetName()), ID: raft.MemberID(resp.GetId()),
+		Name: model.Process(resp.GetName()), Zone: model.Zone(resp.GetZone()), ID: raft.MemberID(resp.GetId()),
 		Initialised: resp.GetInitialised(),
 	}
 	h.Founders, err = convertAll(resp.GetFounders(), codec.GroupMemberFromWire)
--- a/io/trans/peers/consensus_test.go
+++ b/io/trans/peers/consensus_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"camphorridge/core/coord/boot"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/raft"
@@ -101,3 +102,27 @@
 	var e *Error
 	assert.Assert(t, errors.As(err, &e) && e.Kind == KindNotLeader, "%v", err)
 }
+
+// helloGroup is a Group that only describes its process.
+type helloGroup struct {
+	Group
+	hello boot.Hello
+}
+
+func (g helloGroup) Hello() boot.Hello { return g.hello }
+
+// TestHello guards against a description of a process that loses a field on the way: a
+// process could form a second group, or be listed in no zone.
+func TestHello(t *testing.T) {
+	want := boot.Hello{
+		Name: "c1", Zone: "zone-a", ID: 0xa1, Initialised: true,
+		Founders: []raft.Member{{ID: 0xa1, Name: "c1", Zone: "zone-a", Address: "c1:7060", Voter: true}},
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wirepb.ConsensusPathPrefix, wirepb.NewConsensusServer(&ConsensusServer[helloGroup]{Group: helloGroup{hello: want}, Stamps: zeroStamps{}}))
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	got, err := NewClient("test", zeroStamps{}).Hello(t.Context(), model.Member{Address: strings.TrimPrefix(s.URL, "http://")})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -111,8 +111,10 @@
 func newControl(cfg conf.Control, lg *log.Logger) (*Control, error) {
 	clk := clock.Real()
 	self := memberOf(cfg.Controls, cfg.Name)
+	// The list of control processes may lack this process or its zone.
+	self.Zone = cfg.Zone
 	if self.Address == "" {
-		self.Zone, self.Address = cfg.Zone, cfg.Listen.Peers
+		self.Address = cfg.Listen.Peers
 	}
 	d, err := store.Open(cfg.DataFolder, store.Options[codec.Codec, store.OSFileSystem]{
 		Self:         raft.Member{Name: self.Name, Zone: self.Zone, Address: self.Address},
@@ -125,11 +127,11 @@
 	c.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
-	hello := boot.Hello{Name: cfg.Name, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
+	hello := boot.Hello{Name: cfg.Name, Zone: cfg.Zone, ID: d.Stored().Self.ID, Initialised: initialised(d.Stored())}
 	c.member = newMemberAccess(hello, c.senders)
 	c.memberLog = newMemberLog(lg, clk, hello)
 	c.membership = boot.NewMembershipManager(boot.Config[*peers.Client, *memberAccess]{
-		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: cfg.Zone, Address: self.Address},
+		Self: hello, Member: raft.Member{ID: hello.ID, Name: self.Name, Zone: self.Zone, Address: self.Address},
 		Configured: cfg.Controls, Peers: c.client, Group: c.member, Clock: clk,
 		Joined: func(m raft.Member) {
 			c.record(model.Event{Kind: model.EventRole, Detail: "added " + string(m.Name) + " with a new member ID"})
