Simulate the losses of the users' page in the raft package

Cause: the schedules of TestSchedules name no machines that join, are replaced or count as lost, so that they cannot show a group that a second loss ends.

--- a/core/state/raft/simulation_test.go
+++ b/core/state/raft/simulation_test.go
@@ -48,8 +48,16 @@
 	writing  *Output
 	writeDue clock.Millis
 	slowDisk bool
+	// diskDelay is the maximum additional time of a write in milliseconds.
+	diskDelay int
 	// frozen is set while the process is paused and gets no processor time.
 	frozen bool
+	// clockLag is the time by which the host's clock is late, because it stood still
+	// while the machine was suspended.
+	clockLag  clock.Millis
+	suspended bool
+	// cutIn and cutOut are set while no messages reach the host or leave it.
+	cutIn, cutOut bool
 	// value and applied are the volatile state of the running node. commit is the
 	// commit index of the node at the last check.
 	value   int64
@@ -183,6 +191,7 @@
 
 func (sim *simulation) start(h *host) {
 	h.node = New(sim.cfg, StoredState{Self: h.self, Hard: h.disk.hard, Snapshot: h.disk.snap, Entries: slices.Clone(h.disk.entries)}, sim.now)
+	h.clockLag = 0
 	h.load(h.disk.snap, h.disk.data)
 	h.commit = 0
 	h.pendingWrites, h.pendingReads, h.writing = map[uint64]pendingWrite{}, map[uint64]int{}, nil
@@ -202,7 +211,7 @@
 		hard := []*HardState{out.Hard, nil}[sim.random.IntN(2)]
 		h.disk.write(hard, out.Append[:sim.random.IntN(len(out.Append)+1)])
 	}
-	h.node, h.writing, h.frozen = nil, nil, false
+	h.node, h.writing, h.frozen, h.suspended = nil, nil, false, false
 }
 
 // wipe crashes a host and restarts it with an empty disk and a new member ID.
@@ -242,18 +251,21 @@
 	}
 	for _, h := range sim.hosts {
 		if h.node != nil && !h.frozen {
-			h.node.Tick(sim.now)
+			h.node.Tick(sim.clockOf(h))
 			sim.process(h)
 		}
 	}
 }
 
+// clockOf returns the time on the steady clock of a host.
+func (sim *simulation) clockOf(h *host) clock.Millis { return sim.now - h.clockLag }
+
 func (sim *simulation) deliver(m Message) {
 	h, from := sim.byID(m.To), sim.byID(m.From)
-	if h == nil || h.node == nil || (from != nil && from.partition != h.partition) {
+	if h == nil || h.node == nil || h.cutIn || (from != nil && (from.partition != h.partition || from.cutOut)) {
 		return
 	}
-	if err := h.node.Step(m, sim.now); err != nil {
+	if err := h.node.Step(m, sim.clockOf(h)); err != nil {
 		sim.failf("host %d: %w", m.To, err)
 	}
 	sim.process(h)
@@ -276,6 +288,9 @@
 				if h.slowDisk {
 					h.writeDue += clock.Millis(sim.random.IntN(150))
 				}
+				if h.diskDelay > 0 {
+					h.writeDue += clock.Millis(sim.random.IntN(h.diskDelay))
+				}
 			}
 		}
 		if h.writeDue > sim.now {
@@ -393,12 +408,12 @@
 	sim.operationClock++
 	record := porcupine.Operation{ClientId: op, Input: q, Call: sim.operationClock, Output: int64(-1), Return: noReturn}
 	if q.kind == opRead {
-		if h.node.ReadIndex(uint64(op), sim.now) != nil {
+		if h.node.ReadIndex(uint64(op), sim.clockOf(h)) != nil {
 			return
 		}
 		h.pendingReads[uint64(op)] = op
 	} else {
-		index, term, err := h.node.Propose(q.encode(), sim.now)
+		index, term, err := h.node.Propose(q.encode(), sim.clockOf(h))
 		if err != nil {
 			return
 		}
--- /dev/null
+++ b/core/state/raft/voters_test.go
@@ -0,0 +1,283 @@
+package raft
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/model"
+)
+
+// directedSeeds is the number of seeds of each directed test.
+const directedSeeds = 30
+
+// newCompleteFleet returns a fleet at the time at which no machine counts as lost any
+// more.
+func newCompleteFleet(t *testing.T, seed uint64, s site) *fleet {
+	t.Helper()
+	f := newFleet(seed, s)
+	f.maxDelay = 5
+	f.await(t, func() bool { return f.lost() == 0 })
+	assert.Equal(t, f.voters(), min(s.size(), s.machines))
+	return f
+}
+
+func (f *fleet) await(t *testing.T, holds func() bool) {
+	t.Helper()
+	f.stepUntil(60*clock.Second, holds)
+	assert.NilError(t, f.err)
+	assert.Assert(t, holds(), "the condition was not met within 60 s of simulated time\n%s", f.describe())
+}
+
+// voters returns the number of voters in the leader's list that run.
+func (f *fleet) voters() int {
+	l := f.leader()
+	if l == nil {
+		return 0
+	}
+	n := 0
+	for _, m := range l.node.Members() {
+		if h := f.byID(m.ID); m.Voter && h.running() {
+			n++
+		}
+	}
+	return n
+}
+
+// replace takes the machine at a place away for good; its successor starts later.
+func (f *fleet) replace(p *place) {
+	f.remove(p.current)
+	p.current = nil
+	p.restoreAt, p.restore = f.now+f.shortTime(), func() { f.start(f.occupy(p)) }
+	f.disturbance()
+}
+
+// wipePlace replaces the disk at a place by an empty one while the machine restarts.
+func (f *fleet) wipePlace(p *place) {
+	f.stop(p, f.shortTime())
+	f.newIdentity(p)
+	f.disturbance()
+}
+
+// isVoter reports whether the machine at a place is a voter in the leader's list.
+func (f *fleet) isVoter(p *place) bool {
+	l := f.leader()
+	if l == nil || p.current == nil {
+		return false
+	}
+	m, ok := l.node.member(p.current.self.ID)
+	return ok && m.Voter
+}
+
+func (f *fleet) votersFirst() []*place {
+	list := slices.Clone(f.places)
+	slices.SortStableFunc(list, func(a, b *place) int { return compareSet(f.isVoter(a), f.isVoter(b)) })
+	return list
+}
+
+func (f *fleet) recovered() bool { return f.lost() == 0 }
+
+// TestSecondReplacement guards against the loss of the quorum when another machine is
+// replaced as soon as the successor of the first one has had its time to catch up.
+func TestSecondReplacement(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[0])
+		for _, p := range slices.Clone(f.places) {
+			f.replace(p)
+			f.await(t, f.recovered)
+		}
+		f.settle()
+		assert.NilError(t, f.err, "seed %d", seed)
+	}
+}
+
+// TestNewestDiskLost guards against the loss of the quorum when the machine that was added
+// last loses its disk at once after it has had its time to catch up.
+func TestNewestDiskLost(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[0])
+		p := f.places[seed%3]
+		f.replace(p)
+		f.await(t, f.recovered)
+		assert.Assert(t, f.acknowledge())
+		f.wipePlace(p)
+		f.await(t, f.recovered)
+		f.settle()
+		assert.NilError(t, f.err, "seed %d", seed)
+	}
+}
+
+// TestTwoLossesAfterReplacements guards against a group with standbys that does not have
+// all its voters after replacements, so that two lost disks end it.
+func TestTwoLossesAfterReplacements(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[4+seed%2])
+		for range 2 {
+			f.replace(f.votersFirst()[0])
+			f.await(t, f.recovered)
+		}
+		assert.Equal(t, f.voters(), f.size())
+		assert.Assert(t, f.acknowledge())
+		lost := f.votersFirst()[:2]
+		f.wipePlace(lost[0])
+		f.wipePlace(lost[1])
+		f.await(t, f.recovered)
+		f.settle()
+		assert.NilError(t, f.err, "seed %d", seed)
+	}
+}
+
+// TestLeaderLostInJointState guards against a group that cannot complete a change of the
+// voters after the leader is lost with or without its disk, whether the successor comes
+// from the old or the new voters.
+func TestLeaderLostInJointState(t *testing.T) {
+	for seed := range uint64(2 * directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[3+seed%3])
+		var removed *place
+		for _, p := range f.votersFirst() {
+			if p.current != f.leader() && f.isVoter(p) {
+				removed = p
+				break
+			}
+		}
+		f.replace(removed)
+		f.await(t, f.leaderInJointState)
+		for range seed % 7 {
+			f.run(2)
+		}
+		if l := f.leader(); l.running() && seed%2 == 0 {
+			f.wipePlace(f.placeOf(l))
+		} else if l.running() {
+			f.stop(f.placeOf(l), 5*clock.Second)
+			f.disturbance()
+		}
+		f.await(t, func() bool { return f.voters() >= f.size()-1 && !f.leaderInJointState() && f.now > f.mustCommitAfter })
+		f.await(t, f.recovered)
+		f.settle()
+		assert.NilError(t, f.err, "seed %d", seed)
+		assert.Equal(t, f.voters(), f.size())
+	}
+}
+
+// TestReplacedVoterReturns guards against a voter that was cut off and replaced by a
+// standby, and that deposes the leader or votes by its old list when it returns.
+func TestReplacedVoterReturns(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[1])
+		var cut *place
+		for _, p := range f.places {
+			if f.isVoter(p) && p.current != f.leader() {
+				cut = p
+			}
+		}
+		h := cut.current
+		h.cutIn, h.cutOut = true, true
+		f.await(t, func() bool { return !f.isVoter(cut) && !f.leaderInJointState() })
+		l, term := f.leader(), f.leader().node.Term()
+		old, _ := h.node.member(h.self.ID)
+		assert.Assert(t, old.Voter, "the member has received the new list")
+		if seed%2 == 0 {
+			f.crash(h)
+			f.start(h)
+		}
+		f.await(t, func() bool { return h.node.Role() == RoleCandidate })
+		h.cutIn, h.cutOut = false, false
+		f.disturbance()
+		f.stepUntil(commitBound, func() bool { return false })
+		assert.NilError(t, f.err, "seed %d", seed)
+		assert.Equal(t, f.leader(), l)
+		assert.Equal(t, l.node.Term(), term)
+		assert.DeepEqual(t, h.node.Members(), l.node.Members())
+	}
+}
+
+// TestReplacementKeepsVoters guards against a replacement that reduces the number of voters,
+// or of the disks that hold an acknowledged write, below what it was before.
+func TestReplacementKeepsVoters(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[seed%uint64(len(sites))])
+		f.replace(f.votersFirst()[seed%uint64(f.size())])
+		for end := f.now + 2*f.catchUp; f.now < end; {
+			f.step()
+			for _, h := range f.hosts {
+				if h.node == nil || len(h.node.Members()) == 0 || h.node.commit < 10 {
+					continue
+				}
+				for _, isIn := range []func(Member) bool{isVoter, isOldVoter} {
+					n := 0
+					for _, m := range h.node.Members() {
+						if isIn(m) {
+							n++
+						}
+					}
+					assert.Assert(t, n >= f.size() || n == 0 && !h.node.joint(), "seed %d: %d voters\n%s", seed, n, f.describe())
+				}
+			}
+		}
+		assert.NilError(t, f.err)
+		assert.Equal(t, f.voters(), f.size())
+	}
+}
+
+// TestVotersSpreadOverZones guards against voters that stay in one zone although standbys in
+// other zones have caught up, so that the loss of the zone takes the quorum.
+func TestVotersSpreadOverZones(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newFleet(seed, site{1, 3, 4 * clock.Second, 12 * clock.Second})
+		f.maxDelay = 5
+		for i, p := range f.places {
+			p.zone = []model.Zone{"zone-0", "zone-0", "zone-1"}[i]
+			p.current.self.Zone = p.zone
+		}
+		for _, h := range f.hosts {
+			for i := range h.disk.snap.Members {
+				h.disk.snap.Members[i].Zone = f.places[i].zone
+			}
+			f.start(h)
+		}
+		f.await(t, f.recovered)
+		f.places = append(f.places, &place{zone: "zone-2"})
+		f.start(f.occupy(f.places[3]))
+		f.await(t, func() bool { return f.isVoter(f.places[3]) && !f.leaderInJointState() })
+		zones := map[model.Zone]bool{}
+		for _, m := range f.leader().node.Members() {
+			if m.Voter {
+				zones[m.Zone] = true
+			}
+		}
+		assert.Equal(t, len(zones), 3)
+	}
+}
+
+// TestChosenVotersAreStable guards against changes that are proposed again and again
+// although nothing has changed.
+func TestChosenVotersAreStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "size")
+		all := make([]candidate, rapid.IntRange(1, 10).Draw(t, "members"))
+		for i := range all {
+			all[i] = candidate{
+				Member: Member{
+					ID: MemberID(i + 1), Voter: rapid.Bool().Draw(t, "voter"),
+					Zone: rapid.SampledFrom([]model.Zone{"a", "b", "c"}).Draw(t, "zone"),
+				},
+				responsive: rapid.Bool().Draw(t, "responsive"), replaced: rapid.Bool().Draw(t, "replaced"),
+			}
+		}
+		leader := MemberID(rapid.IntRange(1, len(all)).Draw(t, "leader"))
+		all[leader-1].responsive = true
+		first := chooseVoters(all, leader, size)
+		assert.Equal(t, len(first), min(size, len(all)))
+		assert.Assert(t, slices.Contains(first, leader))
+		for i := range all {
+			all[i].Voter = slices.Contains(first, all[i].ID)
+		}
+		second := chooseVoters(rapid.Permutation(all).Draw(t, "order"), leader, size)
+		slices.Sort(first)
+		slices.Sort(second)
+		assert.DeepEqual(t, first, second)
+	})
+}
