Derive vacating from each check of the load

A cordon yields to a long-running task that no other worker takes, vacating did not.

vacateWorkers now computes the set of workers and sets the mark of all others to false, as with cordons.

TestVacatingEndsOnCordonedWorker failed before the change: "assertion failed: 0 (int) != 1 (int)", the task did not run 6 s after its submission. It passes now. go test -short ./core/state/sched passes.

--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -176,6 +176,33 @@
 	assert.Equal(t, f.runs("a", "w1")+f.runs("a", "w2"), 2)
 }
 
+// TestVacatingEndsOnCordonedWorker guards against a long-running task that waits for as
+// long as the only worker with room for it is cordoned, because the worker was being
+// vacated when the cordon began.
+func TestVacatingEndsOnCordonedWorker(t *testing.T) {
+	f := newExclusionFixture()
+	f.listFleet()
+	ids := []string{"w1", "w2", "w3", "w4"}
+	f.submit("fill", jobs.Step{TaskCount: 4, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, MaxPerWorker: 1, BestEffort: true})
+	for _, id := range ids {
+		f.heartbeat(id, 1, nil)
+	}
+	f.Pass(f.now)
+	f.Submit(jobs.Job{ID: "wide", Queue: "q2", Pool: "other", MaxAttempts: 2, Target: 60_000, StretchPermille: 1500, Steps: []jobs.Step{
+		{TaskCount: 1, Resources: jobs.Resources{MilliCores: 16_000}, Estimate: 1000},
+	}}, f.now)
+	f.advance(400, ids...)
+	assert.Assert(t, f.workers["w1"].vacating)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	f.advance(200, ids...)
+	assert.Assert(t, f.workers["w1"].cordoned)
+	step := spreadStep
+	step.TaskCount = 4
+	f.submit("a", step)
+	f.advance(maxIdleMillis, ids...)
+	assert.Equal(t, f.runs("a", "w1"), 1)
+}
+
 // TestUnansweredMoveEndsWithoutStandbyPool guards against a worker that gets no tasks
 // because its move has no answer and a configuration without a standby pool ended all
 // moves.
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -72,8 +72,7 @@
 
 // updatePoolLoads returns the loads of all pools except standby pools, those that
 // lack the most machines first; nil while the size of no machine is known. It also
-// updates the pools' arrival rates, maxMilliCores, and the idleSince and vacating
-// of the workers.
+// updates the pools' arrival rates, maxMilliCores, and the idleSince of the workers.
 func (s *Scheduler[P, H]) updatePoolLoads(now clock.Millis) []*poolLoad {
 	byPool := map[jobs.PoolName]*poolLoad{}
 	for _, p := range s.State.Config.Pools {
@@ -100,7 +99,6 @@
 				w.idleSince = now
 			}
 			load.idle = append(load.idle, w)
-			w.vacating = false
 		} else {
 			w.idleSince = 0
 			if !w.hasLongRunning() {
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -81,7 +81,7 @@
 	standby := s.standbyPool()
 	if standby == "" {
 		// No machine is moved, so none has to be vacated.
-		s.stopVacating()
+		s.setVacating(nil)
 		return
 	}
 	if !s.refreshMachineList(now) {
@@ -114,16 +114,6 @@
 	}
 }
 
-// stopVacating lets all workers get new tasks that are being vacated.
-func (s *Scheduler[P, H]) stopVacating() {
-	for _, w := range s.workers {
-		if w.vacating {
-			w.vacating = false
-			s.dirtyPools[s.pool(w.pool)] = true
-		}
-	}
-}
-
 // finiteWorkSeen reports whether a job without long-running tasks has been
 // submitted. Idle machines are kept until then; otherwise a newly started fleet
 // would be powered off just before its first load.
@@ -184,17 +174,26 @@
 // of these workers slightly busy for as long as its pool has any work, and its
 // machine could not be moved.
 func (s *Scheduler[P, H]) vacateWorkers(loads []*poolLoad, missing int) {
+	vacating := map[*worker]bool{}
 	for i := len(loads) - 1; i >= 0; i-- {
 		load := loads[i]
 		surplus := load.machines - load.needed - s.settings.ReserveMachines
-		for _, w := range load.busy {
-			w.vacating = missing > 0 && surplus > 0
+		for _, w := range load.busy[:max(0, min(missing, surplus, len(load.busy)))] {
+			vacating[w] = true
+			missing--
+		}
+	}
+	s.setVacating(vacating)
+}
+
+// setVacating keeps new tasks off exactly the given workers because their machines are
+// needed by other pools.
+func (s *Scheduler[P, H]) setVacating(vacating map[*worker]bool) {
+	for _, w := range s.workers {
+		if w.vacating && !vacating[w] {
 			s.dirtyPools[s.pool(w.pool)] = true
-			if w.vacating {
-				missing--
-				surplus--
-			}
 		}
+		w.vacating = vacating[w]
 	}
 }
 
