Expect a run without progress to go on for as long as it has stood still

The predicted end of a run past its estimate without progress is now, and that of a throttled run at 99 percent lies close ahead. A long-running task that waits for the memory of such a run never stops it, because it seems to become free in time. A best-effort task that a serving task leaves no processor time is in this state for as long as it is throttled, and is not stopped as stalled either.

endingRuns takes the later of the predicted end and the time for which the run has made no progress, counted from now. Replies to heartbeats keep the earlier prediction.

TestThrottledTaskIsStopped failed before the change: "assertion failed: 0 (int) != 1 (int): at 0 percent".

--- a/core/state/sched/preempt_test.go
+++ b/core/state/sched/preempt_test.go
@@ -31,6 +31,35 @@
 	assert.Equal(t, len(b.stopped), 3)
 }
 
+// stopping returns the number of runs on a worker that are being stopped.
+func (f *fixture) stopping(id string) int {
+	n := 0
+	for _, r := range f.workers[jobs.WorkerID(id)].runs {
+		if r.stopping {
+			n++
+		}
+	}
+	return n
+}
+
+// TestThrottledTaskIsStopped guards against a long-running task that waits for the
+// memory of a best-effort task that makes no progress and seems about to end.
+func TestThrottledTaskIsStopped(t *testing.T) {
+	for _, percent := range []int{0, 99} {
+		f := newFixture(Defaults())
+		f.submit("fill", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 24_000}, Estimate: clock.Second, BestEffort: true})
+		f.heartbeat("w1", 1, nil)
+		f.Pass(f.now)
+		f.submit("serve", largeStep)
+		for until := f.now + maxIdleMillis; f.now < until; {
+			f.now += 200
+			f.heartbeat("w1", 1, []RunStatus{{Task: jobs.TaskID{Job: "fill"}, Run: 1, Percent: percent}})
+			f.Pass(f.now)
+		}
+		assert.Equal(t, f.stopping("w1"), 1, "at %d percent", percent)
+	}
+}
+
 // TestLongRunningTasksAreNotStopped guards against a long-running task that makes
 // another one stop, or one that breaks up a gang.
 func TestLongRunningTasksAreNotStopped(t *testing.T) {
--- a/core/state/sched/reserve.go
+++ b/core/state/sched/reserve.go
@@ -176,7 +176,9 @@
 		case r.stopping || !r.needed():
 			out = append(out, endingRun{r, now + stopDurationMillis})
 		case !r.step.LongRunning:
-			out = append(out, endingRun{r, r.predictEnd(now)})
+			// A run is expected to go on for at least as long as it has made no
+			// progress: its estimate may be wrong, and a throttled one stands still.
+			out = append(out, endingRun{r, max(r.predictEnd(now), now+now-r.progressedAt)})
 		}
 	}
 	slices.SortFunc(out, func(x, y endingRun) int { return cmp.Compare(x.at, y.at) })
