Count the time until a lost worker's lease ends before finite tasks are stopped

A new leader waits for the lease of a lost worker, 4.1 s, and the task then waited 3 s more, as a task that has just stopped running does, before finite tasks were stopped for it. In a pool full of finite tasks it ran again 7.6 s after the change of leader at the earliest; users miss a task after 6 s.

A group knows since when one of its waiting tasks may be away, which is when the lost worker was last heard, or the start of the term. That time counts for the stop of finite tasks. The task still waits for 0.8 s first, so that each available worker has been considered.

TestFiniteTasksAreStoppedAfterTakeover failed before the change: "assertion failed: 0 (int) != 1 (int)", no run was stopped 6 s after the change of leader.

--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -42,7 +42,11 @@
 			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 			continue
 		}
+		runs := sortedTaskIDs(w.runs)
 		s.loseRuns(w, "the worker's lease ended", now)
+		for _, t := range runs {
+			s.setAway(t, max(w.heardAt, s.termStart))
+		}
 		delete(s.pool(w.pool).available, w.id)
 		w.heartbeat = nil
 		// The next heartbeat adds the worker to leaseEnds again.
@@ -50,6 +54,17 @@
 	}
 }
 
+// setAway notes that a waiting task may not have run since the given time.
+func (s *Scheduler[P, H]) setAway(t jobs.TaskID, since clock.Millis) {
+	rec := s.State.Jobs[t.Job]
+	if rec == nil {
+		return
+	}
+	if g := s.pool(s.poolOf(rec)).groupByStep[stepKeyOf(t)]; g != nil && len(g.waiting) > 0 {
+		g.awaySince = min(g.awaySince, since)
+	}
+}
+
 // placePool assigns waiting tasks to the available workers of a pool.
 func (s *Scheduler[P, H]) placePool(p *pool, now clock.Millis) {
 	if len(p.groups) == 0 || len(p.available) == 0 {
--- a/core/state/sched/preempt.go
+++ b/core/state/sched/preempt.go
@@ -10,11 +10,11 @@
 
 // Timing of the preemption of finite tasks by long-running ones.
 const (
-	// preemptAfterMillis is how long a long-running task waits before finite tasks
+	// preemptAfterMillis is how long a long-running task is away before finite tasks
 	// are stopped for it. A machine of the standby pool usually arrives within this
 	// time.
 	preemptAfterMillis = 3 * clock.Second
-	// startWithinMillis is how long a long-running task should wait at most. Users
+	// startWithinMillis is how long a long-running task should be away at most. Users
 	// miss a task that has not run for 6 s. No task is stopped for one that can
 	// start earlier without that.
 	startWithinMillis = 5 * clock.Second
@@ -65,10 +65,13 @@
 	return preferred
 }
 
-// needsPreemption reports whether a task of the group that has waited for long can
-// start much earlier on the host if finite tasks are stopped there.
+// needsPreemption reports whether a task of the group that has been away for long can
+// start much earlier on the host if finite tasks are stopped there. The time that a
+// lost worker's lease took to end counts; the task has then still to wait until each
+// available worker has been considered.
 func (h host) needsPreemption(g *taskGroup, now clock.Millis) bool {
-	return now-g.waitingSince >= preemptAfterMillis && h.readyAt > max(g.waitingSince+startWithinMillis, now+2*stopDurationMillis)
+	return now-g.awaySince >= preemptAfterMillis && now-g.waitingSince > unplacedWaitMillis &&
+		h.readyAt > max(g.awaySince+startWithinMillis, now+2*stopDurationMillis)
 }
 
 // chooseVictims returns finite runs of lower rank on the worker that have to be
--- a/core/state/sched/preempt_test.go
+++ b/core/state/sched/preempt_test.go
@@ -7,6 +7,7 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
 )
 
 // TestLongFiniteTasksAreStopped guards against a long-running task that waits for
@@ -60,6 +61,25 @@
 	}
 }
 
+// TestFiniteTasksAreStoppedAfterTakeover guards against a long-running task that is away
+// for the lease of its lost worker and, after that, for as long again as other tasks
+// wait before finite tasks are stopped for them.
+func TestFiniteTasksAreStoppedAfterTakeover(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", largeStep)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.submit("finite", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 24_000}, Estimate: 60 * clock.Second})
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	f.testScheduler = New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now)
+	f.heartbeat("w2", 1, []RunStatus{{Task: jobs.TaskID{Job: "finite"}, Run: 1}})
+	f.Pass(f.now)
+	f.advance(maxIdleMillis, "w2")
+	assert.Equal(t, f.runs("finite", "w2"), 1)
+	assert.Equal(t, f.stopping("w2"), 1)
+}
+
 // TestLongRunningTasksAreNotStopped guards against a long-running task that makes
 // another one stop, or one that breaks up a gang.
 func TestLongRunningTasksAreNotStopped(t *testing.T) {
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -144,8 +144,11 @@
 	// first. waitingSince is when the first task was added to the empty group.
 	waiting      []int
 	waitingSince clock.Millis
-	rank         Rank
-	hosts        groupHosts
+	// awaySince is when a waiting task may have stopped running; it is earlier than
+	// waitingSince if the lease of the task's worker has ended.
+	awaySince clock.Millis
+	rank      Rank
+	hosts     groupHosts
 }
 
 // scheduledOccurrence is an occurrence that is not due yet.
@@ -232,10 +235,10 @@
 	key := stepKeyOf(t)
 	g := p.groupByStep[key]
 	if g != nil && len(g.waiting) == 0 {
-		g.waitingSince = now
+		g.waitingSince, g.awaySince = now, now
 	}
 	if g == nil {
-		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[t.Step], rank: s.rankPolicy.Rank(rec, t.Occurrence, now), waitingSince: now}
+		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[t.Step], rank: s.rankPolicy.Rank(rec, t.Occurrence, now), waitingSince: now, awaySince: now}
 		p.groupByStep[key] = g
 		p.groups = append(p.groups, g)
 		p.sorted = false
