Let quarantines yield to a long-running task that has been away for long

A quarantine of 5 s is below the 6 s after which users miss a task, but it can begin when a task has already been away for the lease of its lost worker, and another can follow it. Then the task waits although a worker has room for it.

Like a cordon, the quarantine now yields to a long-running task that no other worker takes, once it has been away for as long as it takes before finite tasks are stopped for it (3 s).

TestQuarantineYieldsAfterTakeover failed before the change: "assertion failed: 0 (int) != 1 (int)".

--- a/core/state/sched/exclusion.go
+++ b/core/state/sched/exclusion.go
@@ -8,7 +8,7 @@
 // acceptsGroup reports whether a worker accepts new tasks of a group and has the
 // label that the group requires.
 func (s *Scheduler[P, H]) acceptsGroup(w *worker, g *taskGroup, now clock.Millis) bool {
-	if w.draining || w.goingDown || w.vacating || w.quarantinedUntil > now || w.cordonedFor(g, now) {
+	if w.draining || w.goingDown || w.vacating || w.quarantinedFor(g, now) || w.cordonedFor(g, now) {
 		return false
 	}
 	return w.hasLabel(g)
@@ -22,6 +22,22 @@
 	return w.cordoned && !(g.step.LongRunning && now-g.waitingSince > unplacedWaitMillis)
 }
 
+// quarantinedFor reports whether a quarantine keeps the tasks of a group off the worker.
+// It yields to a long-running task that has been away for long and that no other worker
+// has taken: the worker may be sound, and one quarantine after the other, or one after
+// the lease of a lost worker, would keep the task away for longer than it may be.
+func (w *worker) quarantinedFor(g *taskGroup, now clock.Millis) bool {
+	return w.quarantinedUntil > now && !(g.step.LongRunning && g.awayForLong(now))
+}
+
+// awayForLong reports whether a long-running task of the group has been away for so long
+// that it is started at the cost of other work. The time that the lease of a lost worker
+// took to end counts, but the task waits in any case until each available worker has
+// been considered.
+func (g *taskGroup) awayForLong(now clock.Millis) bool {
+	return now-g.awaySince >= preemptAfterMillis && now-g.waitingSince > unplacedWaitMillis
+}
+
 // updateGoingDown updates goingDown of a machine's worker. It is called whenever a
 // downtime or a move of the machine begins or ends.
 func (s *Scheduler[P, H]) updateGoingDown(m jobs.MachineID) {
--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -8,6 +8,7 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
 )
 
 // maxIdleMillis is the longest time that a long-running task may wait while a worker
@@ -203,6 +204,21 @@
 	assert.Equal(t, f.runs("a", "w1"), 1)
 }
 
+// TestQuarantineYieldsAfterTakeover guards against a long-running task that is away for
+// the lease of its lost worker and then for the quarantine of the only one with room.
+func TestQuarantineYieldsAfterTakeover(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", largeStep)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.testScheduler = New(f.settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, f.State.Clone(), f.now)
+	f.heartbeat("w2", 1, nil)
+	f.advance(4*clock.Second, "w2")
+	f.workers["w2"].quarantinedUntil = f.now + f.settings.QuarantineMillis
+	f.advance(maxIdleMillis-4*clock.Second, "w2")
+	assert.Equal(t, f.runs("serve", "w2"), 1)
+}
+
 // TestUnansweredMoveEndsWithoutStandbyPool guards against a worker that gets no tasks
 // because its move has no answer and a configuration without a standby pool ended all
 // moves.
--- a/core/state/sched/preempt.go
+++ b/core/state/sched/preempt.go
@@ -66,12 +66,9 @@
 }
 
 // needsPreemption reports whether a task of the group that has been away for long can
-// start much earlier on the host if finite tasks are stopped there. The time that a
-// lost worker's lease took to end counts; the task has then still to wait until each
-// available worker has been considered.
+// start much earlier on the host if finite tasks are stopped there.
 func (h host) needsPreemption(g *taskGroup, now clock.Millis) bool {
-	return now-g.awaySince >= preemptAfterMillis && now-g.waitingSince > unplacedWaitMillis &&
-		h.readyAt > max(g.awaySince+startWithinMillis, now+2*stopDurationMillis)
+	return g.awayForLong(now) && h.readyAt > max(g.awaySince+startWithinMillis, now+2*stopDurationMillis)
 }
 
 // chooseVictims returns finite runs of lower rank on the worker that have to be
--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -42,7 +42,7 @@
 		{WaitLeaving, "going-down", func(w *worker) bool { return !w.goingDown }},
 		{WaitLeaving, "cordoned", func(w *worker) bool { return !w.cordonedFor(g, now) }},
 		{WaitLeaving, "vacating", func(w *worker) bool { return !w.vacating }},
-		{WaitQuarantine, "quarantined", func(w *worker) bool { return w.quarantinedUntil <= now }},
+		{WaitQuarantine, "quarantined", func(w *worker) bool { return !w.quarantinedFor(g, now) }},
 		{WaitAdvice, "advice", func(w *worker) bool { return s.adviceAllows(w, g, now) }},
 		{WaitPerWorker, "per-worker", func(w *worker) bool { return g.step.MaxPerWorker == 0 || w.taskCount(g.key) < g.step.MaxPerWorker }},
 		{WaitCapacity, "room", func(w *worker) bool { return reserved.FitsIn(free(w)) }},
