Count a worker as down that has not been heard since an order was confirmed

An order that is carried out late ends a worker that joined after it was given. goingDown holds only for the worker that the order was given for, and a worker counted as silent after 1 s only, so that for up to a second after the platform's answer the tasks of the ended worker counted as serving, and another machine with a task of their step could go down.

TestLateOrderEndsLaterWorker failed before the change: "assertion failed: 1 (int) != 0 (int)".

--- a/core/state/sched/exclusion.go
+++ b/core/state/sched/exclusion.go
@@ -95,8 +95,19 @@
 	s.cordons = cordons
 }
 
-// maySilentlyBeDown reports whether a worker has sent no heartbeat for liveMillis while
-// an order for its machine, such as one of an earlier leader, may have been carried out.
+// maySilentlyBeDown reports whether an order for a worker's machine may have ended the
+// worker without its being known: the worker has sent no heartbeat for liveMillis while an
+// order, such as one of an earlier leader, may have been carried out, or none since such
+// an order was confirmed. An order that is carried out late ends a worker that joined
+// after it was given.
 func (s *Scheduler[P, H]) maySilentlyBeDown(w *worker) bool {
-	return s.now-w.heardAt > liveMillis && s.mayBeDown(w.machine)
+	if s.now-w.heardAt > liveMillis {
+		return s.mayBeDown(w.machine)
+	}
+	for _, v := range s.waves {
+		if down, ok := v.down[w.machine]; ok && down.since > w.heardAt {
+			return true
+		}
+	}
+	return false
 }
--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -138,6 +138,28 @@
 	assert.Equal(t, f.runs("b", "w2"), 1)
 }
 
+// TestLateOrderEndsLaterWorker guards against a machine that goes down while a task of
+// the same step is away, because an order that was carried out late had ended a worker
+// that joined after it was given.
+func TestLateOrderEndsLaterWorker(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2", "m-w3"}, MaxDown: 3, Deadline: 1000}, f.now)
+	orders := f.advance(200, "w1", "w2")
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[0].Machine, jobs.MachineID("m-w3"))
+	f.HandleOutcome(orders[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
+	late := string(orders[1].Machine[len("m-"):])
+	other := map[string]string{"w1": "w2", "w2": "w1"}[late]
+	f.heartbeat(late, 2, nil)
+	f.Pass(f.now)
+	f.heartbeatOf(late)
+	f.now += 20
+	f.HandleOutcome(orders[1], Outcome{Answer: AnswerDone}, f.now)
+	f.now += 100
+	f.heartbeatOf(other)
+	assert.Equal(t, len(actionsOf(f.Pass(f.now), ActionMaintain)), 0)
+}
+
 // TestMoveTimeoutKeepsOrderInFlight guards against tasks that start on a machine whose
 // maintenance is ordered, and against counting its tasks as available, because a move of
 // the machine that was ordered before has timed out.
