Let a member ask for the address of a leader that its list lacks

A member that comes back with an older list hears from a leader that was added meanwhile, but has no address to reply to. It counted as having a leader and never asked, so that it stayed silent for the leader until it was removed (30 s).

Change: only a leader that is in the member list counts as known. TestUnlistedLeaderIsAsked fails without it ("0 (int) != 1 (int)") and passes.

--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -31,8 +31,14 @@
 	Members []raft.Member
 	// IsLeader is set when this process leads.
 	IsLeader bool
-	// HasLeader is set when a leader is known.
-	HasLeader bool
+	// Leader is the ID of the known leader, which need not be in Members; 0 if none is
+	// known.
+	Leader raft.MemberID
+}
+
+// lists reports whether the member list contains an ID.
+func (v View) lists(id raft.MemberID) bool {
+	return slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == id })
 }
 
 // Group is the control group as a MembershipManager uses it.
@@ -157,15 +163,17 @@
 // checks. The request has no effect for a member that is still listed. It returns the
 // time until the next check.
 func (mm *MembershipManager[P, G]) requestMembership(ctx context.Context, v View) clock.Millis {
-	interval := unlistedCheckInterval
-	if slices.ContainsFunc(v.Members, func(m raft.Member) bool { return m.ID == mm.self.ID }) {
+	listed, interval := v.lists(mm.self.ID), unlistedCheckInterval
+	if listed {
 		interval = checkInterval
 	}
 	mm.checksWithoutLeader++
-	if v.HasLeader {
+	// A process whose list lacks the leader cannot reply to it, and so never gets a newer
+	// list.
+	if v.lists(v.Leader) {
 		mm.checksWithoutLeader = 0
 	}
-	if mm.member.ID == 0 || (interval == checkInterval && mm.checksWithoutLeader < maxChecksWithoutLeader) {
+	if mm.member.ID == 0 || (listed && mm.checksWithoutLeader < maxChecksWithoutLeader) {
 		return interval
 	}
 	address, err := mm.peers.Join(ctx, mm.others(v.Members), mm.member)
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -90,13 +90,13 @@
 // that is never added to the group, and against a removed member that never returns.
 func TestNonMemberAsksToJoin(t *testing.T) {
 	mm, g := newTestManager()
-	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, HasLeader: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 2}}, Leader: 1}
 	mm.check()
 	assert.Equal(t, g.joinCalls, 1)
-	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, HasLeader: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, Leader: 1}
 	mm.check()
 	assert.Equal(t, g.joinCalls, 1, "a member must not ask to join")
-	g.view.HasLeader = false
+	g.view.Leader = 0
 	for range maxChecksWithoutLeader {
 		mm.check()
 	}
@@ -144,6 +144,17 @@
 	assert.DeepEqual(t, g.asksOf, []model.Member{{Name: "c1", Address: "c1:1"}, {Name: "c2", Address: "c2:1"}})
 }
 
+// TestUnlistedLeaderIsAsked guards against a member that comes back with a list without
+// the current leader, hears from it and never asks for its address.
+func TestUnlistedLeaderIsAsked(t *testing.T) {
+	mm, g := newTestManager()
+	g.view = View{Members: []raft.Member{{ID: 1, Name: "c1", Address: "c1:1"}, {ID: 4, Name: "c4"}}, Leader: 9}
+	for range maxChecksWithoutLeader {
+		mm.check()
+	}
+	assert.Equal(t, g.joinCalls, 1)
+}
+
 // TestLeaderAddressIsLearnt guards against a process that is listed but never receives
 // the list, because its settings do not name the leader and it cannot reply to it.
 func TestLeaderAddressIsLearnt(t *testing.T) {
@@ -159,7 +170,7 @@
 	mm, g := newTestManager()
 	g.joinErr = errors.New("no answer")
 	assert.Equal(t, mm.check(), unlistedCheckInterval)
-	g.view = View{Members: []raft.Member{{ID: 4}}, HasLeader: true}
+	g.view = View{Members: []raft.Member{{ID: 1}, {ID: 4}}, Leader: 1}
 	assert.Equal(t, mm.check(), checkInterval)
 	g.view.IsLeader = true
 	assert.Equal(t, mm.check(), checkInterval)
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -93,7 +93,7 @@
 // senders, and returns this process's view of the group.
 func (m *memberAccess) Refresh(ctx context.Context) boot.View {
 	s := m.queryStatus(ctx)
-	return boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, HasLeader: s.Leader.ID != 0}
+	return boot.View{Members: s.Members, IsLeader: s.Role == raft.RoleLeader, Leader: s.Leader.ID}
 }
 
 // AddAddress passes the address of a control process to the senders.
