Count the majorities of a joint list apart from the code under test

Change: the check counts both majorities itself; a directed test cuts the old majority from the leader and the new one.

--- a/core/state/raft/checks_test.go
+++ b/core/state/raft/checks_test.go
@@ -33,11 +33,22 @@
 	if n.termAt(n.commit) != n.term {
 		sim.failf("leader %d of term %d committed entry %d of term %d", n.self, n.term, n.commit, n.termAt(n.commit))
 	}
-	if !n.hasQuorum(func(id MemberID) bool {
-		h := sim.byID(id)
-		return h == nil || h.disk.last() >= n.commit
-	}) {
-		sim.failf("leader %d committed entry %d without a quorum of disks", n.self, n.commit)
+	// The majorities are counted here again, so that a fault of hasQuorum does not hide
+	// itself.
+	for _, isIn := range []func(Member) bool{isVoter, isOldVoter} {
+		size, held := 0, 0
+		for _, m := range n.Members() {
+			if !isIn(m) {
+				continue
+			}
+			size++
+			if h := sim.byID(m.ID); h == nil || h.disk.last() >= n.commit {
+				held++
+			}
+		}
+		if size > 0 && held <= size/2 {
+			sim.failf("leader %d committed entry %d with %d of %d disks", n.self, n.commit, held, size)
+		}
 	}
 	if k := len(n.memberLists); k > 1 && n.memberLists[k-2].index > n.commit {
 		sim.failf("leader %d has two uncommitted membership changes", n.self)
--- a/core/state/raft/voters_test.go
+++ b/core/state/raft/voters_test.go
@@ -177,6 +177,42 @@
 	}
 }
 
+// TestJointChangeNeedsBothMajorities guards against a joint list that takes effect with the
+// new majority alone, while the old majority elects another leader.
+func TestJointChangeNeedsBothMajorities(t *testing.T) {
+	for seed := range uint64(directedSeeds) {
+		f := newCompleteFleet(t, seed, sites[1])
+		l := f.leader()
+		var standby *host
+		var others []*host
+		for _, p := range f.places {
+			switch {
+			case p.current == l:
+			case f.isVoter(p):
+				others = append(others, p.current)
+			default:
+				standby = p.current
+			}
+		}
+		// The partition comes before the entry with the joint list is sent.
+		_, _, err := l.node.ChangeMembers(MemberChange{Kind: SetVoters, Voters: []MemberID{l.self.ID, standby.self.ID, others[0].self.ID}}, f.now)
+		assert.NilError(t, err)
+		for _, h := range others {
+			h.partition = 1
+		}
+		commit := l.node.Commit()
+		f.await(t, func() bool { return f.leader() == others[0] || f.leader() == others[1] })
+		f.stepUntil(commitBound, func() bool { return false })
+		assert.NilError(t, f.err, "seed %d", seed)
+		assert.Equal(t, l.node.Commit(), commit)
+		for _, h := range others {
+			h.partition = 0
+		}
+		f.settle()
+		assert.NilError(t, f.err, "seed %d", seed)
+	}
+}
+
 // TestReplacedVoterReturns guards against a voter that was cut off and replaced by a
 // standby, and that deposes the leader or votes by its old list when it returns.
 func TestReplacedVoterReturns(t *testing.T) {
