Simulate changes of leader beside waves, moves, drains and quarantines

The simulations of the package elect leaders one at a time, at once, and either without leases or without waves, moves and drains. takeoverSimulation has leases, times of up to 7 s without a leader, up to four changes of leader in a row, commits that take up to 0.8 s and that a change of leader cuts short, workers that are cut off, drain or start again under the same or another ID meanwhile, broken machines, best-effort tasks that make no progress, waves, and moves between two pools and a standby pool.

--- a/core/state/sched/exclusion_simulation_test.go
+++ b/core/state/sched/exclusion_simulation_test.go
@@ -40,6 +40,15 @@
 	lastEnd     int64
 	// sentAt is when the heartbeat without a reply was sent; 0 for none.
 	sentAt, nextHeartbeat clock.Millis
+	// The fields below are used by takeoverSimulation alone. pool is the machine's pool,
+	// and worker the ID of its worker. leaseUntil is the end of the worker's lease.
+	// receivedAt is when its latest heartbeat reached the leader. Nothing passes between
+	// the worker and the leader until cutUntil. A draining worker exits at exitAt. The
+	// finite tasks of a broken machine fail.
+	pool                                     jobs.PoolName
+	worker                                   jobs.WorkerID
+	leaseUntil, receivedAt, cutUntil, exitAt clock.Millis
+	broken                                   bool
 }
 
 // poolOrder is a maintenance order in flight to the platform.
