Replace the leader as a voter before a planned stop

After a planned stop of the leader, the group had one voter fewer until the next leader had replaced it, although a standby had caught up.

Change: when the process of the leader stops, it proposes the voters without itself, if enough other members respond and have caught up, and waits for at most 300 ms until it no longer leads. The line leader-left tells the outcome.

Measured: TestLeave passes once, and once with -race beside the other tests of members in core/coord/group; the tests of io/trans/roles pass.

--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -20,6 +20,7 @@
 	inputStatus
 	inputWatch
 	inputJoin
+	inputLeave
 )
 
 // input is a request or a batch of messages for the event loop.
@@ -162,3 +163,11 @@
 	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
 }
+
+// Leave makes a standby a voter in place of this member, if it leads, and returns nil
+// once it no longer leads. The error has KindInvalid if no standby can take its place, or
+// if another membership change is in progress.
+func (g *Group[S, C]) Leave(ctx context.Context) error {
+	_, err := g.call(ctx, input{kind: inputLeave, op: "leave"}, KindOutcomeUnknown)
+	return err
+}
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -94,8 +94,10 @@
 	lastReadContext  uint64
 	// pendingJoins holds the calls of Join that wait for their membership changes.
 	pendingJoins []input
-	watchers     []watcher
-	observed     observedState
+	// pendingLeaves holds the calls of Leave that wait for the end of the leadership.
+	pendingLeaves []input
+	watchers      []watcher
+	observed      observedState
 	// silent lists, on the leader, the members that were not recently active at the last
 	// tick, and observedSilent those of the last call of Observe.
 	silent         []raft.MemberID
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -354,6 +354,42 @@
 	assert.DeepEqual(t, c.voters(lead), want)
 }
 
+// TestLeave guards against a planned stop of the leader that leaves the group with one
+// voter fewer until the next leader has replaced it, and against a leader that leaves
+// although no standby can take its place.
+func TestLeave(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(1, 2, 3)
+	c.awaitOutcome(c.propose(lead, contractChange("a", "")))
+	kind, _ := kindOf(c.group(lead).Leave(t.Context()))
+	assert.Equal(t, kind, KindInvalid)
+	assert.DeepEqual(t, c.voters(lead), []raft.MemberID{1, 2, 3})
+
+	standby := raft.Member{ID: 4, Name: "four"}
+	c.start(standby, &memStorage{stored: raft.StoredState{Self: standby}})
+	joined := make(chan error, 1)
+	go func() {
+		_, err := c.group(lead).Join(context.Background(), standby)
+		joined <- err
+	}()
+	c.until("the standby has caught up", func() bool {
+		return slices.ContainsFunc(c.status(lead).Peers, func(p raft.PeerStatus) bool { return p.Member.ID == 4 && p.CaughtUp })
+	})
+	c.until("the join is answered", func() bool { return len(joined) == 1 })
+	assert.NilError(t, <-joined)
+	assert.DeepEqual(t, c.voters(lead), []raft.MemberID{1, 2, 3})
+	left := make(chan error, 1)
+	go func() { left <- c.group(lead).Leave(context.Background()) }()
+	c.until("the leader has left", func() bool { return len(left) == 1 })
+	assert.NilError(t, <-left)
+	assert.Assert(t, c.status(lead).Role != raft.RoleLeader)
+	want := append(others(lead), 4)
+	slices.Sort(want)
+	assert.DeepEqual(t, c.voters(lead), want)
+	c.network.setPartitioned(lead, true)
+	assert.DeepEqual(t, c.voters(c.leader(want...)), want)
+}
+
 // TestCorrupt guards against a member that skips a committed entry that it
 // cannot decode, so that its state diverges from that of the others.
 func TestCorrupt(t *testing.T) {
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -39,6 +39,8 @@
 	case inputJoin:
 		g.pendingJoins = append(g.pendingJoins, in)
 		g.reconcileMembers()
+	case inputLeave:
+		g.leave(in)
 	}
 }
 
--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -24,6 +24,28 @@
 	}
 }
 
+// leave proposes the change that replaces this member as a voter.
+func (g *Group[S, C]) leave(in input) {
+	c, ok := g.node.LeaveChange(g.cfg.Voters)
+	if !ok {
+		in.answer(answer{err: failf(in.op, KindInvalid, "member %x is a %s that no standby can replace now", g.node.Self(), g.node.Role())})
+		return
+	}
+	if _, _, err := g.node.ChangeMembers(c, g.clock.Now()); err != nil {
+		in.answer(answer{err: g.translate(in.op, err)})
+		return
+	}
+	g.pendingLeaves = append(g.pendingLeaves, in)
+}
+
+// answerLeaves answers the calls of Leave, because this member no longer leads.
+func (g *Group[S, C]) answerLeaves() {
+	for _, in := range g.pendingLeaves {
+		in.answer(answer{})
+	}
+	g.pendingLeaves = nil
+}
+
 // refuseJoins answers all pending joins with an error, because this member does
 // not lead.
 func (g *Group[S, C]) refuseJoins() {
--- a/core/state/raft/voters.go
+++ b/core/state/raft/voters.go
@@ -43,6 +43,19 @@
 	return MemberChange{}, false
 }
 
+// LeaveChange returns the change that makes a standby a voter in place of this member.
+// ok is false if this member does not lead, another change is in progress, or there are
+// fewer than size other members that respond and have caught up. This member leads until
+// the change is committed.
+func (n *Node) LeaveChange(size int) (c MemberChange, ok bool) {
+	if n.role != RoleLeader || n.MembersPending() || n.joint() || !n.committedInTerm() {
+		return MemberChange{}, false
+	}
+	others := slices.DeleteFunc(n.candidates(), func(c candidate) bool { return c.ID == n.self || !c.responsive })
+	voters := chooseVoters(others, 0, size)
+	return MemberChange{Kind: SetVoters, Voters: voters}, len(voters) == size
+}
+
 // candidates returns the voters and the standbys that have caught up.
 func (n *Node) candidates() []candidate {
 	var all []candidate
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -204,6 +204,7 @@
 		addComponent(g, c.mover)
 	}
 	addComponent(g, c.membership)
+	addComponent(g, newLeaver(c))
 	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), events), peerStopTimeout)
 	addComponent(g, newGroupRunner(c))
 	addComponent(g, adm)
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
 
@@ -159,3 +160,35 @@
 		r.ctrl.record(model.Event{Kind: model.EventRole, Detail: "writing to the disk fails: " + s.WriteError})
 	}
 }
+
+// leaveTimeout bounds the time for which the stop of the leader waits until a standby
+// votes in its place.
+const leaveTimeout clock.Millis = 300
+
+// leaver is the component that, when the process stops while it leads, makes a standby a
+// voter in its place. It must stop before the server for the other control processes,
+// through which the leader receives their replies.
+type leaver struct {
+	ctrl *Control
+	done chan struct{}
+}
+
+func newLeaver(c *Control) *leaver { return &leaver{ctrl: c, done: make(chan struct{})} }
+
+// Run returns after Stop.
+func (l *leaver) Run() error {
+	<-l.done
+	return nil
+}
+
+// Stop replaces this process as a voter if it leads. It must be called at most once.
+func (l *leaver) Stop() {
+	defer close(l.done)
+	if _, leads := l.ctrl.member.Leads(); !leads {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout.Duration())
+	defer cancel()
+	err := l.ctrl.member.Leave(ctx)
+	l.ctrl.log.Info("leader-left", "err", err)
+}
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -112,6 +112,16 @@
 	return err
 }
 
+// Leave makes a standby a voter in place of this process. It fails unless this process
+// is the leader and there is a standby that can take its place.
+func (m *memberAccess) Leave(ctx context.Context) error {
+	member, err := m.getMember()
+	if err != nil {
+		return err
+	}
+	return member.Leave(ctx)
+}
+
 // Hello describes this process to the other control processes. The process counts as
 // initialised once it has a member list; see boot.Hello for the founders.
 func (m *memberAccess) Hello() boot.Hello {
