--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -295,6 +295,19 @@
 	}
 }
 
+// addStandby starts a member with the ID 4 and lets it join. The result of the join is
+// sent to the returned channel.
+func (c *cluster) addStandby(lead raft.MemberID) <-chan error {
+	m := raft.Member{ID: 4, Name: "four"}
+	c.start(m, &memStorage{stored: raft.StoredState{Self: m}})
+	joined := make(chan error, 1)
+	go func() {
+		_, err := c.group(lead).Join(context.Background(), m)
+		joined <- err
+	}()
+	return joined
+}
+
 // voters returns the IDs of the voters in the member list of a member, in ascending
 // order, or nil while the list is joint.
 func (c *cluster) voters(id raft.MemberID) (ids []raft.MemberID) {
@@ -332,13 +345,7 @@
 	assert.DeepEqual(t, c.voters(c.leader(lead, active)), []raft.MemberID{1, 2, 3})
 
 	lead = c.leader(lead, active)
-	standby := raft.Member{ID: 4, Name: "four"}
-	c.start(standby, &memStorage{stored: raft.StoredState{Self: standby}})
-	joined := make(chan error, 1)
-	go func() {
-		_, err := c.group(lead).Join(context.Background(), standby)
-		joined <- err
-	}()
+	joined := c.addStandby(lead)
 	want := []raft.MemberID{1, 2, 3, 4}
 	want = slices.DeleteFunc(want, func(id raft.MemberID) bool { return id == silent })
 	c.until("the standby replaces the silent voter", func() bool { return slices.Equal(c.voters(lead), want) })
@@ -365,13 +372,7 @@
 	assert.Equal(t, kind, KindInvalid)
 	assert.DeepEqual(t, c.voters(lead), []raft.MemberID{1, 2, 3})
 
-	standby := raft.Member{ID: 4, Name: "four"}
-	c.start(standby, &memStorage{stored: raft.StoredState{Self: standby}})
-	joined := make(chan error, 1)
-	go func() {
-		_, err := c.group(lead).Join(context.Background(), standby)
-		joined <- err
-	}()
+	joined := c.addStandby(lead)
 	c.until("the standby has caught up", func() bool {
 		return slices.ContainsFunc(c.status(lead).Peers, func(p raft.PeerStatus) bool { return p.Member.ID == 4 && p.CaughtUp })
 	})
