Form a control group only when the whole system starts for the first time

A founder whose start was interrupted still joins the others' list. A process that has ever observed a member list answers as initialised while its event loop does not answer.

--- a/core/coord/boot/boot.go
+++ b/core/coord/boot/boot.go
@@ -53,8 +53,8 @@
 // The modes.
 const (
 	// JoinModeRetry means that the configured members must be asked again: no group is
-	// known, and either some of them did not answer with a member ID or this process is
-	// not configured.
+	// known, and some of them did not answer with a member ID, this process is not
+	// configured, or it may not form a group.
 	JoinModeRetry JoinMode = iota
 	// JoinModeFounder means that this process starts with an initial member list, the
 	// same as the other founders: either no group exists, or its own start was
@@ -67,8 +67,9 @@
 // DecideJoinMode returns the mode in which the process with the ID self joins. The
 // returned members are the initial members of the group for JoinModeFounder, and the
 // processes that answered for JoinModeExisting. answers holds the answer of each
-// configured member that responded, and of this process.
-func DecideJoinMode(self raft.MemberID, configured []model.Member, answers []Hello) (JoinMode, []raft.Member) {
+// configured member that responded, and of this process. Unless mayFound is set, this
+// process forms no new group: the others may have lost their data folders too.
+func DecideJoinMode(self raft.MemberID, configured []model.Member, answers []Hello, mayFound bool) (JoinMode, []raft.Member) {
 	members := respondingMembers(configured, answers)
 	for _, a := range answers {
 		if !a.Initialised {
@@ -85,7 +86,7 @@
 	// A process that is not configured is never in an initial member list; it joins
 	// the group that the others form.
 	founder := slices.ContainsFunc(members, func(m raft.Member) bool { return m.ID == self })
-	if len(members) < len(configured) || !founder {
+	if !mayFound || len(members) < len(configured) || !founder {
 		return JoinModeRetry, nil
 	}
 	for i := range members {
@@ -115,10 +116,10 @@
 // AwaitJoinMode asks the configured members until a mode other than JoinModeRetry is
 // decided or done is closed; in the latter case it returns JoinModeRetry. configured is
 // called before each round, because the settings may change in the meantime.
-func AwaitJoinMode[P PeerClient](peers P, self Hello, configured func() []model.Member, c clock.Clock, done <-chan struct{}) (JoinMode, []raft.Member) {
+func AwaitJoinMode[P PeerClient](peers P, self Hello, configured func() []model.Member, mayFound bool, c clock.Clock, done <-chan struct{}) (JoinMode, []raft.Member) {
 	for {
 		current := configured()
-		mode, members := DecideJoinMode(self.ID, current, collectAnswers(peers, self, current))
+		mode, members := DecideJoinMode(self.ID, current, collectAnswers(peers, self, current), mayFound)
 		if mode != JoinModeRetry {
 			return mode, members
 		}
--- a/core/coord/boot/boot_test.go
+++ b/core/coord/boot/boot_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			mode, members := DecideJoinMode(1, configured, tt.answers)
+			mode, members := DecideJoinMode(1, configured, tt.answers, true)
 			assert.Equal(t, mode, tt.want)
 			if tt.want == JoinModeFounder {
 				assert.Equal(t, len(members), len(configured))
@@ -40,6 +40,17 @@
 	}
 }
 
+// TestProcessOfExistingSystemFormsNoGroup guards against a second group of processes that
+// all lost their data folders, beside the group whose other members are not configured.
+func TestProcessOfExistingSystemFormsNoGroup(t *testing.T) {
+	answers := []Hello{{Name: "c1", ID: 1}, {Name: "c2", ID: 2}, {Name: "c3", ID: 3}}
+	mode, _ := DecideJoinMode(1, configured, answers, false)
+	assert.Equal(t, mode, JoinModeRetry)
+	answers[1].Initialised, answers[1].Founders = true, founders
+	mode, _ = DecideJoinMode(1, configured, answers, false)
+	assert.Equal(t, mode, JoinModeFounder, "a founder whose start was interrupted must join the others")
+}
+
 // TestUnlistedMember guards against replacing a member that merely does not answer, and
 // against not adding a process that lost its data folder.
 func TestUnlistedMember(t *testing.T) {
@@ -62,7 +73,7 @@
 func TestFoundersAreInTheirOwnZones(t *testing.T) {
 	configured := []model.Member{{Name: "c1", Zone: "-"}, {Name: "c2", Zone: "-"}, {Name: "c3", Zone: "-"}}
 	answers := []Hello{{Name: "c1", Zone: "zone-a", ID: 1}, {Name: "c2", Zone: "zone-b", ID: 2}, {Name: "c3", ID: 3}}
-	mode, members := DecideJoinMode(1, configured, answers)
+	mode, members := DecideJoinMode(1, configured, answers, true)
 	assert.Equal(t, mode, JoinModeFounder)
 	for i, zone := range []model.Zone{"zone-a", "zone-b", "-"} {
 		assert.Equal(t, members[i].Zone, zone)
--- a/core/coord/boot/membership_test.go
+++ b/core/coord/boot/membership_test.go
@@ -76,13 +76,13 @@
 func TestUnconfiguredProcessFormsNoGroup(t *testing.T) {
 	configured := []model.Member{{Name: "c1"}, {Name: "c2"}}
 	answers := []Hello{{Name: "c4", ID: 4}, {Name: "c1", ID: 1}, {Name: "c2", ID: 2}}
-	mode, _ := DecideJoinMode(4, configured, answers)
+	mode, _ := DecideJoinMode(4, configured, answers, true)
 	assert.Equal(t, mode, JoinModeRetry)
-	mode, members := DecideJoinMode(1, configured, answers)
+	mode, members := DecideJoinMode(1, configured, answers, true)
 	assert.Equal(t, mode, JoinModeFounder)
 	assert.Equal(t, len(members), 2)
 	answers[1].Initialised = true
-	mode, _ = DecideJoinMode(4, configured, answers)
+	mode, _ = DecideJoinMode(4, configured, answers, true)
 	assert.Equal(t, mode, JoinModeExisting)
 }
 
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -134,6 +134,9 @@
 	// Controls lists the members of the control group, sorted by name. It contains
 	// this process.
 	Controls []model.Member
+	// JoinOnly is set if the process starts in an existing system: it joins the control
+	// group and never forms one. It has no key in the settings file.
+	JoinOnly bool
 	// GroupSize is the number of voters of the control group; further members are
 	// standbys. If it is 0, the number of Controls applies. It has no key in the
 	// settings file.
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -42,7 +42,7 @@
 	c := r.ctrl
 	stored := c.disk.Stored()
 	if !initialised(stored) {
-		mode, members := boot.AwaitJoinMode(c.client, c.member.self, c.membership.Configured, c.clock, r.done)
+		mode, members := boot.AwaitJoinMode(c.client, c.member.self, c.membership.Configured, !c.cfg.JoinOnly, c.clock, r.done)
 		switch mode {
 		case boot.JoinModeRetry:
 			// AwaitJoinMode returns JoinModeRetry only if r.done is closed, that is, after
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -123,11 +123,13 @@
 }
 
 // Hello describes this process to the other control processes. The process counts as
-// initialised once it has a member list; see boot.Hello for the founders.
+// initialised once it has a member list, also while its event loop does not answer; see
+// boot.Hello for the founders.
 func (m *memberAccess) Hello() boot.Hello {
 	h := m.self
 	members := m.queryStatus(context.Background()).Members
-	h.Initialised = h.Initialised || len(members) > 0
+	last := m.lastStatus.Load()
+	h.Initialised = h.Initialised || len(members) > 0 || (last != nil && len(last.Members) > 0)
 	for _, x := range members {
 		if !x.Voter || x.OldVoter {
 			return h
--- a/io/trans/roles/member_test.go
+++ b/io/trans/roles/member_test.go
@@ -37,3 +37,13 @@
 	assert.Assert(t, leads, "the term is %d", term)
 	assert.Equal(t, term, uint64(9))
 }
+
+// TestBusyMemberIsInitialised guards against a member that answers as if it had never been
+// in a group while its event loop does not answer: processes with empty data folders
+// could form a second group with it.
+func TestBusyMemberIsInitialised(t *testing.T) {
+	m := newMemberAccess(boot.Hello{}, peers.NewSenders(nil, nil))
+	assert.Assert(t, !m.Hello().Initialised)
+	m.updateStatus(group.Status{Members: []raft.Member{{ID: 1, Voter: true}}})
+	assert.Assert(t, m.Hello().Initialised)
+}
