Add a process that lost its disk without waiting for its old ID

Change: the new ID is added at once, as a standby, and takes the place of the old one when it has caught up. An ID whose process is listed again under a newer one counts as gone: the newer one exists only because the disk with the older one was lost. The two checks of whether a change may be proposed are one.

--- a/core/coord/boot/membership.go
+++ b/core/coord/boot/membership.go
@@ -16,9 +16,8 @@
 	// until it is, the group can bear one loss fewer.
 	checkInterval                      = clock.Second
 	unlistedCheckInterval clock.Millis = 200
-	// checkTimeout bounds the calls of one check. A process that lost its disk is added
-	// only after an election timeout without contact to its old ID; if that takes longer
-	// than checkTimeout, the next check continues.
+	// checkTimeout bounds the calls of one check; the next check repeats what was not
+	// done.
 	checkTimeout = clock.Second
 	// maxChecksWithoutLeader is the number of consecutive checks without a known
 	// leader after which a listed member asks to join: it may have been removed while
@@ -48,8 +47,7 @@
 	Refresh(ctx context.Context) View
 	// AddAddress passes the address of a control process to the message transport.
 	AddAddress(m raft.Member)
-	// Join adds a member; only the leader can. If a listed member has the same name,
-	// Join waits until that one no longer answers.
+	// Join adds a member; only the leader can.
 	Join(ctx context.Context, m raft.Member) error
 }
 
--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -155,10 +155,9 @@
 }
 
 // Join adds a member and returns the member list once the list contains the member.
-// The new member takes the addresses of the others from the list. If a listed member has
-// the same name and another ID, Join waits until that one is no longer active. The
-// leader makes the new member a voter when it has caught up and a voter is missing. Join
-// must be called on the leader.
+// The new member takes the addresses of the others from the list. The leader makes it a
+// voter when it has caught up and a voter is missing, as the listed member with the same
+// name and another ID is. Join must be called on the leader.
 func (g *Group[S, C]) Join(ctx context.Context, m raft.Member) ([]raft.Member, error) {
 	a, err := g.call(ctx, input{kind: inputJoin, op: "join", member: m}, KindOutcomeUnknown)
 	return a.status.Members, err
--- a/core/coord/group/members.go
+++ b/core/coord/group/members.go
@@ -56,8 +56,8 @@
 }
 
 // advanceJoin performs the next step of a join and reports whether the join has
-// been answered. A process that lost its disk is added once its old ID is silent; the
-// old ID stays a voter until the new one has caught up and takes its place.
+// been answered. The old ID of a process that lost its disk stays a voter until the new
+// one has caught up and takes its place.
 func (g *Group[S, C]) advanceJoin(in input) bool {
 	if g.node.MembersPending() {
 		return false
@@ -72,9 +72,6 @@
 		in.answer(answer{err: failf(in.op, KindInvalid, "the leader %x already has the name %q", self.ID, self.Name)})
 		return true
 	}
-	if g.hasActiveNamesake(in.member) {
-		return false
-	}
 	_, _, err := g.node.ChangeMembers(raft.MemberChange{Kind: raft.AddMember, Member: in.member}, g.clock.Now())
 	if err = g.joinError(err); err != nil {
 		in.answer(answer{err: err})
@@ -82,14 +79,6 @@
 	return err != nil
 }
 
-// hasActiveNamesake reports whether a recently active member has the name of m and
-// another ID.
-func (g *Group[S, C]) hasActiveNamesake(m raft.Member) bool {
-	return slices.ContainsFunc(g.node.Peers(), func(p raft.PeerStatus) bool {
-		return p.Member.Name == m.Name && p.Member.ID != m.ID && p.RecentlyActive
-	})
-}
-
 // joinError translates an error of the Raft node and returns nil for one that
 // allows a later retry.
 func (g *Group[S, C]) joinError(err error) error {
--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -49,9 +49,8 @@
 // from the other voters. Otherwise it starts a new term, votes for itself and requests
 // votes. If this member alone is a quorum, campaign completes the election at once.
 //
-// A failed vote is repeated sooner than a silent leader is noticed: after two split votes
-// at the full timeout, a lost leader is not replaced as a voter before its successor no
-// longer counts as lost, and one more loss ends the group.
+// A failed vote is repeated sooner than a silent leader is noticed, because split votes
+// must not delay the replacement of a lost leader as a voter.
 func (n *Node) campaign(preVote bool) {
 	kind, term := MsgPreVote, n.term+1
 	n.role, n.preVote, n.leader = RoleCandidate, preVote, 0
@@ -61,7 +60,8 @@
 		n.vote = n.self
 	}
 	n.resetElectionTimer()
-	if half := n.cfg.ElectionTimeout / 2; !preVote {
+	if !preVote {
+		half := n.cfg.ElectionTimeout / 2
 		n.electionDeadline = n.now + half + clock.Millis(n.random.Int64N(int64(half)))
 	}
 	n.votes = map[MemberID]bool{n.self: true}
--- a/core/state/raft/members.go
+++ b/core/state/raft/members.go
@@ -129,7 +129,7 @@
 	// Two lists that different leaders derived from the same list may have disjoint
 	// quorums. Hence only one change is allowed at a time, and none before the leader
 	// has committed an entry of its own term.
-	if n.MembersPending() || n.joint() || !n.committedInTerm() {
+	if !n.mayChangeMembers() {
 		return 0, 0, failf("change members", KindPending, "the membership change at index %d, or the leader's first entry of its term, is not committed", n.MembersIndex())
 	}
 	list, err := n.membersAfter(c)
@@ -139,6 +139,12 @@
 	return n.appendMembers(list), n.term, nil
 }
 
+// mayChangeMembers reports whether a new leader's first entry and all membership changes
+// before are complete.
+func (n *Node) mayChangeMembers() bool {
+	return !n.MembersPending() && !n.joint() && n.committedInTerm()
+}
+
 // appendMembers appends an entry with a new member list and returns its index.
 func (n *Node) appendMembers(list []Member) uint64 {
 	index := n.appendAsLeader(Entry{Kind: EntryMembers, Members: list})
--- a/core/state/raft/voters.go
+++ b/core/state/raft/voters.go
@@ -16,7 +16,7 @@
 type candidate struct {
 	Member
 	// responsive is set for the leader and for members that have replied within the
-	// election timeout.
+	// election timeout and are not replaced.
 	responsive bool
 	// replaced is set if its process is also listed under a newer ID: the disk with the
 	// older one is lost.
@@ -29,7 +29,7 @@
 // in one change, so that the number of voters, and with it the number of disks that
 // may be lost, never falls below size.
 func (n *Node) NextChange(size int) (MemberChange, bool) {
-	if n.role != RoleLeader || n.MembersPending() || n.joint() || !n.committedInTerm() {
+	if n.role != RoleLeader || !n.mayChangeMembers() {
 		return MemberChange{}, false
 	}
 	if voters := chooseVoters(n.candidates(), n.self, size); !n.areVoters(voters) {
@@ -48,7 +48,7 @@
 // fewer than size other members that respond and have caught up. This member leads until
 // the change is committed.
 func (n *Node) LeaveChange(size int) (c MemberChange, ok bool) {
-	if n.role != RoleLeader || n.MembersPending() || n.joint() || !n.committedInTerm() {
+	if n.role != RoleLeader || !n.mayChangeMembers() {
 		return MemberChange{}, false
 	}
 	others := slices.DeleteFunc(n.candidates(), func(c candidate) bool { return c.ID == n.self || !c.responsive })
@@ -61,7 +61,8 @@
 	var all []candidate
 	for _, m := range n.Members() {
 		if m.Voter || n.caughtUp(m.ID) {
-			all = append(all, candidate{Member: m, responsive: n.recentlyActive(m.ID), replaced: n.replaced(m)})
+			replaced := n.replaced(m)
+			all = append(all, candidate{Member: m, responsive: n.recentlyActive(m.ID) && !replaced, replaced: replaced})
 		}
 	}
 	return all
@@ -93,10 +94,7 @@
 // standbyRemovalDelay, or its process runs under a new ID because its disk was lost.
 func (n *Node) removable(standby Member) bool {
 	p := n.peers[standby.ID]
-	if p == nil || n.recentlyActive(standby.ID) {
-		return false
-	}
-	return n.now-p.lastContact >= standbyRemovalDelay || n.replaced(standby)
+	return n.replaced(standby) || (p != nil && n.now-p.lastContact >= standbyRemovalDelay)
 }
 
 // chooseVoters returns the IDs of the best voters, at most size of them. The leader is
