Let the fake clock of the group's tests wait for the members

Traced: the tests advance the fake clock by 2 ms for each half millisecond of real time, whether or not the members' event loops get to run, so that on a busy machine an election timeout passes before a heartbeat is answered, and the leader resigns.

Change: before each step the tests wait until the members have handled their inputs. No check changes.

--- a/core/coord/group/fake_test.go
+++ b/core/coord/group/fake_test.go
@@ -1,8 +1,10 @@
 package group
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -213,6 +215,21 @@
 	for deadline := time.Now().Add(time.Minute); !f(); c.clock.Advance(2) {
 		assert.Assert(c.t, time.Now().Before(deadline), "the condition did not hold within a minute: %s", condition)
 		time.Sleep(time.Millisecond / 2)
+		c.awaitInputs()
+	}
+}
+
+// awaitInputs waits until each running member has handled the inputs queued so far, or
+// for a short time if its event loop is blocked. Without it, the clock would run ahead of
+// the members on a busy machine, and leaders would lose their quorum.
+func (c *cluster) awaitInputs() {
+	c.network.mu.Lock()
+	groups := slices.Collect(maps.Values(c.network.groups))
+	c.network.mu.Unlock()
+	for _, g := range groups {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, _ = g.Status(ctx)
+		cancel()
 	}
 }
 
