Close a killed stand-in's connections before its delays end

Cause: Close of the stand-in upstream ended the delays of its handlers before it closed the connections, so that a handler could return without an answer, which net/http completes as an empty 200. The entry process passed it on as a whole answer (TestMaintenanceUnderFailures).

Change: the connections close first, and a handler whose delay was cut short aborts its connection.

--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -144,10 +144,12 @@
 	return u.Addr()
 }
 
-// Close stops the upstream immediately, as if its process were killed.
+// Close stops the upstream immediately, as if its process were killed. The
+// connections close first: a handler whose delay ended before that would still
+// answer.
 func (u *Upstream) Close() {
-	u.stop()
 	_ = u.server.Close()
+	u.stop()
 	u.goroutines.Wait()
 }
 
@@ -263,7 +265,8 @@
 	finished := false
 	defer func() { u.recordEnd(seq, finished) }()
 	if !u.delay(r) {
-		return
+		// A return would send an empty answer with status 200.
+		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Camphorridge-Request-Id", r.Header.Get("Camphorridge-Request-Id"))
 	if fault == FaultWrongID {
