Name the latest failure of each member in a call's error

Cause: the error of a call to the leader held the last attempt alone. With one member left, a refusal could name the refused connection of a killed member in place of "not the leader" (TestRefusedCallExplainedByLogs).

Change: the error lists the latest failure of each address.

Result: TestFailureNamesEachMember fails without the change.

--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 
 	"camphorridge/core/coord/follow"
@@ -105,7 +107,7 @@
 // KindOutcomeUnknown if ctx ended.
 func (l *LeaderClient) callWithTimeout(ctx context.Context, op string, timeout clock.Millis, f func(context.Context, remote) error) error {
 	next := l.KnownLeader()
-	var lastErr error
+	var failures memberFailures
 	for attempts := 1; ; attempts++ {
 		if next == "" {
 			next = l.nextMember()
@@ -120,7 +122,7 @@
 			l.setKnownLeader(next)
 			return nil
 		}
-		lastErr = mapped
+		failures.set(next, mapped)
 		if mapped.Kind == KindInvalid {
 			return mapped
 		}
@@ -135,11 +137,35 @@
 			l.waitRound(ctx)
 		}
 		if ctx.Err() != nil {
-			return &Error{Op: op, Kind: KindOutcomeUnknown, Err: fmt.Errorf("%w; last attempt: %w", ctx.Err(), lastErr)}
+			return &Error{Op: op, Kind: KindOutcomeUnknown, Err: fmt.Errorf("%w; latest failures: %w", ctx.Err(), failures)}
 		}
 	}
 }
 
+// memberFailures holds the latest failure of each address that a call has tried. One
+// member that refuses connections must not hide that the others have no leader.
+type memberFailures []memberFailure
+
+type memberFailure struct {
+	address string
+	err     error
+}
+
+// set replaces the failure of an address.
+func (f *memberFailures) set(address string, err error) {
+	*f = slices.DeleteFunc(*f, func(m memberFailure) bool { return m.address == address })
+	*f = append(*f, memberFailure{address, err})
+}
+
+// Error lists the failures, the latest last.
+func (f memberFailures) Error() string {
+	texts := make([]string, len(f))
+	for i, m := range f {
+		texts[i] = m.address + ": " + m.err.Error()
+	}
+	return strings.Join(texts, "; ")
+}
+
 // attempt runs f once with the clients for an address. If the error is of
 // KindNotLeader, the member returned is the leader that the called process named.
 // After an error of KindUnavailable or KindOutcomeUnknown the address is avoided for
--- a/io/trans/peers/leader_test.go
+++ b/io/trans/peers/leader_test.go
@@ -114,3 +114,16 @@
 	st.Leader.ID, st.Leader.Name, st.Leader.Address = 3, "c3", "127.0.0.9:7000"
 	return st
 }
+
+// TestFailureNamesEachMember guards against an error in which a member that refuses
+// connections hides that the others have no leader.
+func TestFailureNamesEachMember(t *testing.T) {
+	dead, follower := closedAddress(t), serveMember(t, fakeMember{})
+	l := NewLeaderClient(NewClient("test", zeroStamps{}), []model.Member{{Address: dead}, {Address: follower}}, clock.Real())
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := l.Status(ctx)
+	for _, want := range []string{dead, follower, "connection refused", "not the leader"} {
+		assert.ErrorContains(t, err, want)
+	}
+}
