Report dropped log lines when the writer closes

Cause: if the writing goroutine first ran after Close, it wrote the queued lines and returned without the line that counts the dropped ones (TestBlockedReader, once beside load).

Change: the last report does not wait for its interval.

Result: TestDropsAreReportedAtClose fails without the change.

--- a/io/trans/logs/async.go
+++ b/io/trans/logs/async.go
@@ -54,12 +54,17 @@
 // NewAsyncWriter returns a writer to out and starts its goroutine, which Close
 // stops.
 func NewAsyncWriter(out io.Writer, c clock.Clock) *AsyncWriter {
-	a := &AsyncWriter{
+	a := newAsyncWriter(out, c)
+	go a.run()
+	return a
+}
+
+// newAsyncWriter returns a writer whose goroutine has not been started.
+func newAsyncWriter(out io.Writer, c clock.Clock) *AsyncWriter {
+	return &AsyncWriter{
 		out: out, clock: c, lines: ring.New[[]byte](ringLines), budgetBytes: infoBurstBytes, refilledAt: c.Now(),
 		done: make(chan struct{}), finished: make(chan struct{}),
 	}
-	go a.run()
-	return a
 }
 
 // Write queues one line, or drops it if it is beyond the limits. It never returns
@@ -90,14 +95,20 @@
 	return true
 }
 
-// report writes a line with the number of dropped lines if that has changed, at
-// most once per reportInterval.
+// reportIfDue calls report at most once per reportInterval.
+func (a *AsyncWriter) reportIfDue() {
+	if a.reportedAt == 0 || a.clock.Now()-a.reportedAt >= reportInterval {
+		a.report()
+	}
+}
+
+// report writes a line with the number of dropped lines if that has changed.
 func (a *AsyncWriter) report() {
-	n, now := a.dropped.Load(), a.clock.Now()
-	if n == a.reported || now-a.reportedAt < reportInterval && a.reportedAt != 0 {
+	n := a.dropped.Load()
+	if n == a.reported {
 		return
 	}
-	a.reported, a.reportedAt = n, now
+	a.reported, a.reportedAt = n, a.clock.Now()
 	a.write(fmt.Appendf(nil, "level=warn msg=log-lines-dropped total=%d\n", n))
 }
 
@@ -120,11 +131,12 @@
 		select {
 		case line := <-a.lines.C():
 			a.write(line)
-			a.report()
+			a.reportIfDue()
 		case <-a.done:
 			for _, line := range a.lines.Drain(nil, ringLines) {
 				a.write(line)
 			}
+			a.report()
 			return
 		}
 	}
--- a/io/trans/logs/async_test.go
+++ b/io/trans/logs/async_test.go
@@ -43,6 +43,22 @@
 	assert.Assert(t, strings.Contains(out.written.String(), "msg=log-lines-dropped"))
 }
 
+// TestDropsAreReportedAtClose guards against a log that does not say that lines are
+// missing, because the writer is closed before its goroutine has written a line.
+func TestDropsAreReportedAtClose(t *testing.T) {
+	// The goroutine chooses at random between a queued line and the close.
+	for range 20 {
+		var out bytes.Buffer
+		a := newAsyncWriter(&out, clock.Real())
+		for range ringLines + 1 {
+			_, _ = a.Write([]byte("level=warn msg=x\n"))
+		}
+		close(a.done)
+		a.run()
+		assert.Assert(t, strings.Contains(out.String(), "msg=log-lines-dropped total=1"))
+	}
+}
+
 // TestInfoBudget guards against an unlimited volume of info lines under load, and
 // against warnings that are dropped because of them.
 func TestInfoBudget(t *testing.T) {
