Keep the cost of a scheduling pass flat in the backlog

Cause: each pass went through all waiting groups of a pool, and sorted and ranked them again after each submission and every 100 ms.

Change: the groups stand in a sorted list of chunks (package order) whose summary says what the groups of a chunk need at least, so that a pass skips what can't fit on any available worker. A rank says until when it holds, and only ranks that have ended are computed again. The number of pending jobs is counted per queue.

TestRanksOfBacklogAreKept fails on the code before.

--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -144,7 +144,7 @@
 		}
 		candidates = append(candidates, w)
 	}
-	hasCapacity := func(w *worker) bool { return reservation(g.step).FitsIn(w.capacity.Minus(w.used)) }
+	hasCapacity := func(w *worker) bool { return g.reserved.FitsIn(w.capacity.Minus(w.used)) }
 	slices.SortFunc(candidates, func(x, y *worker) int {
 		if order := compareBool(hasCapacity(y), hasCapacity(x)); order != 0 {
 			return order
--- a/core/state/sched/consistency_test.go
+++ b/core/state/sched/consistency_test.go
@@ -14,7 +14,7 @@
 func (s *Scheduler[P, H]) checkConsistency(failf func(format string, args ...any)) {
 	queued := 0
 	for name, p := range s.pools {
-		for _, g := range p.groups {
+		for g := range p.groups.All() {
 			if g.rec.Status.Final() {
 				continue
 			}
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -171,7 +171,7 @@
 	key := stepKey{rec.ID, occurrence, step}
 	g := s.pool(s.poolOf(rec)).groupByStep[key]
 	if g == nil {
-		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[step], waitingSince: now}
+		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[step], reserved: reservation(&rec.Steps[step]), waitingSince: now}
 	}
 	filtered := s.filterWorkers(g, now)
 	if filtered.last.remaining == 0 {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -90,7 +90,7 @@
 // fitCount returns how many tasks of the group fit into the given resources of
 // the worker, at most TaskCount and, unless it is 0, at most MaxPerWorker.
 func (w *worker) fitCount(free jobs.Resources, g *taskGroup) int {
-	reserved, n := reservation(g.step), 0
+	reserved, n := g.reserved, 0
 	limit := min(cmp.Or(g.step.MaxPerWorker, g.step.TaskCount), g.step.TaskCount)
 	for n < limit && reserved.FitsIn(free) {
 		free = free.Minus(reserved)
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -187,8 +187,8 @@
 			running := runsFor(ordersFor(f.Pass(f.now), "w1"))
 			f.submit("g", wide)
 			f.now += 2 * gangReserveDelayMillis
-			g := f.pool("p").groups
-			assert.Assert(t, !f.reservesCapacity(f.pool("p"), g[len(g)-1], f.now))
+			g := f.pool("p").groupByStep[stepKey{job: "g"}]
+			assert.Assert(t, !f.reservesCapacity(f.pool("p"), g, f.now))
 			if c.before == nil {
 				return
 			}
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -139,7 +139,7 @@
 // wait, the one that needs the most machines counts.
 func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
 	n := 0
-	for _, g := range p.groups {
+	for g := range p.groups.All() {
 		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.waitingSince > unplacedWaitMillis {
 			perMachine := max(g.step.MaxPerWorker, 1)
 			n = max(n, (len(g.waiting)+perMachine-1)/perMachine)
@@ -201,7 +201,7 @@
 // milli-cores times milliseconds, although the type is clock.Millis.
 func (p *pool) waitingMilliCoreMillis() clock.Millis {
 	milliCoreMillis := clock.Millis(0)
-	for _, g := range p.groups {
+	for g := range p.groups.All() {
 		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
 			continue
 		}
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -65,22 +65,22 @@
 	}
 }
 
-// placePool assigns waiting tasks to the available workers of a pool.
+// placePool assigns waiting tasks to the available workers of a pool, in the order of
+// their ranks.
 func (s *Scheduler[P, H]) placePool(p *pool, now clock.Millis) {
-	if len(p.groups) == 0 || len(p.available) == 0 {
+	s.refreshRanks(p, now)
+	if p.groups.Len() == 0 || len(p.available) == 0 {
 		return
 	}
-	s.sortGroups(p, now)
-	// unplaceable holds reservations that fit on no available worker. Groups
-	// that reserve at least as much are skipped.
-	var unplaceable []jobs.Resources
 	p.reserved = nil
+	room := newRoom(p)
 	// keptOff holds the groups with tasks that are kept off a worker. Nothing is
 	// reserved for them before the other long-running tasks are placed: a task that
 	// fails again and again would keep these from resources that it does not use.
-	var keptOff []*taskGroup
-	for _, g := range p.groups {
-		if len(g.waiting) == 0 || g.rec.Status.Final() {
+	var keptOff, ended []*taskGroup
+	for g := range p.groups.Matching(room.mayFit) {
+		if !g.live() {
+			ended = append(ended, g)
 			continue
 		}
 		if !g.step.LongRunning {
@@ -89,22 +89,20 @@
 			}
 			keptOff = nil
 		}
-		reserved := reservation(g.step)
 		if g.step.Gang {
 			if s.startGang(p, g, now) {
 				continue
 			}
 			s.requestAdvice(p, g, now)
 			if s.reservesCapacity(p, g, now) {
-				return
+				break
 			}
 			continue
 		}
-		skip := slices.ContainsFunc(unplaceable, func(resources jobs.Resources) bool { return resources.FitsIn(reserved) })
-		if !skip && !s.placeTasks(p, g, now) {
-			unplaceable = append(unplaceable, reserved)
-		}
+		s.placeGroup(p, g, room, now)
 		switch {
+		case !g.live():
+			ended = append(ended, g)
 		case !g.step.LongRunning:
 		case s.keepsOff(g, now):
 			keptOff = append(keptOff, g)
@@ -112,6 +110,25 @@
 			s.reserve(p, g, now)
 		}
 	}
+	for _, g := range ended {
+		p.removeGroup(g)
+	}
+}
+
+// placeGroup assigns the waiting tasks of a group that is no gang, unless the room
+// shows that none fits.
+func (s *Scheduler[P, H]) placeGroup(p *pool, g *taskGroup, room *room, now clock.Millis) {
+	if room.isTooSmallFor(g.reserved) {
+		return
+	}
+	waiting := len(g.waiting)
+	fits := s.placeTasks(p, g, now)
+	if len(g.waiting) < waiting {
+		room.update(p)
+	}
+	if !fits {
+		room.exclude(g.reserved)
+	}
 }
 
 // placeTasks assigns the waiting tasks of a group to available workers, until there
@@ -148,10 +165,9 @@
 // is none. hasCapacity reports whether any worker has enough free resources,
 // even if it was excluded for another reason.
 func (s *Scheduler[P, H]) chooseWorker(p *pool, g *taskGroup, t jobs.TaskID, now clock.Millis) (best *worker, hasCapacity bool) {
-	reserved := reservation(g.step)
 	var bestScore score
 	for _, w := range p.available {
-		if !reserved.FitsIn(p.free(w)) {
+		if !g.reserved.FitsIn(p.free(w)) {
 			continue
 		}
 		hasCapacity = true
--- a/core/state/sched/pending.go
+++ b/core/state/sched/pending.go
@@ -4,15 +4,7 @@
 
 // PendingJobs returns the number of accepted jobs of a queue of which no task is
 // known to have started on a worker. Scheduled jobs are not counted.
-func (s *Scheduler[P, H]) PendingJobs(q jobs.QueueName) int {
-	n := 0
-	for _, rec := range s.pending {
-		if rec.Queue == q {
-			n++
-		}
-	}
-	return n
-}
+func (s *Scheduler[P, H]) PendingJobs(q jobs.QueueName) int { return s.pendingByQueue[q] }
 
 // addPending adds a job to the pending ones, unless it is scheduled, has ended or
 // is known to have started. A new leader does not know of runs that are in
@@ -21,6 +13,15 @@
 func (s *Scheduler[P, H]) addPending(rec *jobs.Record) {
 	if rec.OccurrenceCount == 0 && !rec.Status.Final() && !hasStarted(rec) {
 		s.pending[rec.ID] = rec
+		s.pendingByQueue[rec.Queue]++
+	}
+}
+
+// removePending removes a job from the pending ones if it is one of them.
+func (s *Scheduler[P, H]) removePending(id jobs.ID) {
+	if rec := s.pending[id]; rec != nil {
+		delete(s.pending, id)
+		s.pendingByQueue[rec.Queue]--
 	}
 }
 
@@ -39,11 +40,11 @@
 // A refused run did not start.
 func (s *Scheduler[P, H]) removeStarted(h Heartbeat) {
 	for i := range h.Running {
-		delete(s.pending, h.Running[i].Task.Job)
+		s.removePending(h.Running[i].Task.Job)
 	}
 	for i := range h.Ends {
 		if h.Ends[i].Result != jobs.ResultRefused {
-			delete(s.pending, h.Ends[i].Task.Job)
+			s.removePending(h.Ends[i].Task.Job)
 		}
 	}
 }
--- a/core/state/sched/preempt.go
+++ b/core/state/sched/preempt.go
@@ -45,7 +45,7 @@
 	}
 	var candidates []preemptible
 	for _, h := range hosts[inTime:] {
-		if victims, lost := s.chooseVictims(h.w, g, reservation(g.step).Plus(p.reserved[h.w]), now); len(victims) > 0 {
+		if victims, lost := s.chooseVictims(h.w, g, g.reserved.Plus(p.reserved[h.w]), now); len(victims) > 0 {
 			candidates = append(candidates, preemptible{h, victims, lost})
 		}
 	}
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -6,7 +6,9 @@
 	"slices"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/core/state/heap"
 	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/order"
 	"camphorridge/core/state/place"
 )
 
@@ -18,6 +20,8 @@
 	Key clock.Millis
 	// Seq breaks ties by the order of acceptance.
 	Seq uint64
+	// Until is the time from which the rank may be different; 0 for never.
+	Until clock.Millis
 }
 
 // RankPolicy decides which waiting work is placed first.
@@ -33,6 +37,10 @@
 	classLate
 )
 
+// lateRankMillis is how long the rank of late work is kept. It can be on time again
+// only when another step of its job has ended sooner than estimated.
+const lateRankMillis clock.Millis = 500
+
 // Deadline returns the latest time at which an occurrence of a job counts as on
 // time.
 func Deadline(rec *jobs.Record, occurrence int) clock.Millis {
@@ -51,11 +59,14 @@
 // can meet its deadline, and last work that cannot, both by deadline.
 func (EarliestDeadline) Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank {
 	rank := Rank{Class: classOnTime, Key: Deadline(rec, occurrence), Seq: rec.Seq}
-	switch {
-	case hasLongRunningStep(&rec.Job):
+	if hasLongRunningStep(&rec.Job) {
 		rank.Class, rank.Key = classLongRunning, clock.Millis(rec.Priority)
-	case rank.Key < now+remainingPath(rec, occurrence):
-		rank.Class = classLate
+		return rank
+	}
+	latestStart := rank.Key - remainingPath(rec, occurrence)
+	rank.Until = latestStart + 1
+	if latestStart < now {
+		rank.Class, rank.Until = classLate, now+lateRankMillis
 	}
 	return rank
 }
@@ -96,13 +107,13 @@
 type pool struct {
 	// workers holds the workers of the pool that have sent a heartbeat in this term.
 	workers map[jobs.WorkerID]*worker
-	// groups holds the groups of waiting tasks. sorted is false if a group was
-	// added since the last sort.
-	groups []*taskGroup
-	sorted bool
-	// rankedAt is when the ranks were last recomputed.
-	rankedAt    clock.Millis
+	// groups holds the groups of waiting tasks by rank. A group that has none left,
+	// or whose job has ended, stays until placePool or refreshRanks comes to it.
+	groups      order.List[*taskGroup, groupNeeds]
 	groupByStep map[stepKey]*taskGroup
+	// rankEnds orders the groups by the end of their rank's validity. An entry is
+	// skipped if the group has left the pool or got another rank.
+	rankEnds heap.Heap[rankEnd]
 	// available holds the workers that are not draining and have a heartbeat
 	// without a reply. Tasks can be assigned only to these.
 	available map[jobs.WorkerID]*worker
@@ -148,7 +159,57 @@
 	// waitingSince if the lease of the task's worker has ended.
 	awaySince clock.Millis
 	rank      Rank
-	hosts     groupHosts
+	// reserved is what each task reserves on its worker.
+	reserved jobs.Resources
+	hosts    groupHosts
+}
+
+// Before orders groups by class, key, turn and the order of acceptance, then by
+// occurrence and step.
+func (g *taskGroup) Before(other *taskGroup) bool {
+	return cmp.Or(cmp.Compare(g.rank.Class, other.rank.Class), cmp.Compare(g.rank.Key, other.rank.Key), cmp.Compare(g.turn(), other.turn()),
+		cmp.Compare(g.rank.Seq, other.rank.Seq), cmp.Compare(g.key.step, other.key.step), cmp.Compare(g.key.occurrence, other.key.occurrence)) < 0
+}
+
+// Summary returns the needs of the group.
+func (g *taskGroup) Summary() groupNeeds {
+	return groupNeeds{smallest: g.reserved, special: g.step.LongRunning || g.step.Gang}
+}
+
+// live reports whether tasks of the group wait for a worker.
+func (g *taskGroup) live() bool { return len(g.waiting) > 0 && !g.rec.Status.Final() }
+
+// groupNeeds says what the tasks of some groups need at least. Most passes find little
+// free room, and skip the groups that need more.
+type groupNeeds struct {
+	// smallest holds for each resource the least that a task of any group reserves.
+	smallest jobs.Resources
+	// special is set if a group is of long-running tasks or a gang: it may reserve
+	// resources even if it does not fit.
+	special bool
+}
+
+// Merge returns the needs of the groups of both.
+func (n groupNeeds) Merge(o groupNeeds) groupNeeds {
+	return groupNeeds{
+		smallest: jobs.Resources{
+			MilliCores:   min(n.smallest.MilliCores, o.smallest.MilliCores),
+			MemoryMiB:    min(n.smallest.MemoryMiB, o.smallest.MemoryMiB),
+			Accelerators: min(n.smallest.Accelerators, o.smallest.Accelerators),
+		},
+		special: n.special || o.special,
+	}
+}
+
+// rankEnd is the time at which the rank of a group must be computed again.
+type rankEnd struct {
+	at clock.Millis
+	g  *taskGroup
+}
+
+// Before orders by time, then by the order of the groups.
+func (e rankEnd) Before(other rankEnd) bool {
+	return e.at < other.at || (e.at == other.at && e.g.Before(other.g))
 }
 
 // scheduledOccurrence is an occurrence that is not due yet.
@@ -235,13 +296,13 @@
 	key := stepKeyOf(t)
 	g := p.groupByStep[key]
 	if g != nil && len(g.waiting) == 0 {
-		g.waitingSince, g.awaySince = now, now
+		p.removeGroup(g)
+		g = nil
 	}
 	if g == nil {
-		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[t.Step], rank: s.rankPolicy.Rank(rec, t.Occurrence, now), waitingSince: now, awaySince: now}
-		p.groupByStep[key] = g
-		p.groups = append(p.groups, g)
-		p.sorted = false
+		step := &rec.Steps[t.Step]
+		g = &taskGroup{key: key, rec: rec, step: step, reserved: reservation(step), waitingSince: now, awaySince: now}
+		s.addGroup(p, g, now)
 	}
 	if g.step.LongRunning && rec.Task(t).Run > 0 {
 		// The tasks that have waited for longer start first: with too few workers
@@ -253,60 +314,50 @@
 	s.dirtyPools[p] = true
 }
 
+// addGroup adds a group to a pool with its present rank.
+func (s *Scheduler[P, H]) addGroup(p *pool, g *taskGroup, now clock.Millis) {
+	g.rank = s.rankPolicy.Rank(g.rec, g.key.occurrence, now)
+	p.groupByStep[g.key] = g
+	p.groups.Insert(g)
+	if g.rank.Until > 0 {
+		p.rankEnds.Push(rankEnd{at: g.rank.Until, g: g})
+	}
+}
+
+// removeGroup removes a group from the pool.
+func (p *pool) removeGroup(g *taskGroup) {
+	p.groups.Remove(g)
+	delete(p.groupByStep, g.key)
+}
+
 // reassignPools moves waiting work to the pools that the current configuration
 // assigns to its queues.
-func (s *Scheduler[P, H]) reassignPools() {
+func (s *Scheduler[P, H]) reassignPools(now clock.Millis) {
 	for name, p := range s.pools {
-		kept := p.groups[:0]
-		for _, g := range p.groups {
-			to := s.poolOf(g.rec)
-			if to == name {
-				kept = append(kept, g)
-				continue
+		for _, g := range slices.Collect(p.groups.All()) {
+			if to := s.poolOf(g.rec); to != name {
+				q := s.pool(to)
+				p.removeGroup(g)
+				s.addGroup(q, g, now)
+				s.dirtyPools[q] = true
 			}
-			delete(p.groupByStep, g.key)
-			q := s.pool(to)
-			q.groups, q.sorted = append(q.groups, g), false
-			q.groupByStep[g.key] = g
-			s.dirtyPools[q] = true
 		}
-		p.groups = kept
 	}
 }
 
-// maxRankAgeMillis limits the age of the ranks of waiting work. They change
-// only when work becomes late, which takes seconds.
-const maxRankAgeMillis clock.Millis = 100
-
-// sortGroups sorts the groups of a pool by rank and removes those without
-// waiting tasks or of ended jobs. It recomputes the ranks if that was last done
-// at least maxRankAgeMillis ago. If it was done later and no group was added
-// since the last sort, sortGroups does nothing.
-func (s *Scheduler[P, H]) sortGroups(p *pool, now clock.Millis) {
-	refresh := now-p.rankedAt >= maxRankAgeMillis
-	if !refresh && p.sorted {
-		return
-	}
-	kept := p.groups[:0]
-	for _, g := range p.groups {
-		if len(g.waiting) == 0 || g.rec.Status.Final() {
-			delete(p.groupByStep, g.key)
+// refreshRanks computes the ranks whose validity has ended again, and removes the
+// groups that are no longer live.
+func (s *Scheduler[P, H]) refreshRanks(p *pool, now clock.Millis) {
+	for p.rankEnds.Len() > 0 && p.rankEnds.Top().at <= now {
+		e := p.rankEnds.Pop()
+		if p.groupByStep[e.g.key] != e.g || e.g.rank.Until != e.at {
 			continue
 		}
-		if refresh {
-			g.rank = s.rankPolicy.Rank(g.rec, g.key.occurrence, now)
+		p.removeGroup(e.g)
+		if e.g.live() {
+			s.addGroup(p, e.g, now)
 		}
-		kept = append(kept, g)
-	}
-	clear(p.groups[len(kept):])
-	p.groups, p.sorted = kept, true
-	if refresh {
-		p.rankedAt = now
 	}
-	slices.SortFunc(p.groups, func(a, b *taskGroup) int {
-		return cmp.Or(cmp.Compare(a.rank.Class, b.rank.Class), cmp.Compare(a.rank.Key, b.rank.Key), cmp.Compare(a.turn(), b.turn()),
-			cmp.Compare(a.rank.Seq, b.rank.Seq), cmp.Compare(a.key.step, b.key.step))
-	})
 }
 
 // turn orders the groups of equal class and key: long-running ones by the time from
--- a/core/state/sched/queue_test.go
+++ b/core/state/sched/queue_test.go
@@ -1,12 +1,14 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
 )
 
 // liveIDs returns the live workers of a pool.
@@ -55,3 +57,45 @@
 	assert.Equal(t, len(o.Starts), 1)
 	assert.Equal(t, o.Starts[0].Task.Job, jobs.ID("b"))
 }
+
+// countingPolicy counts the ranks that are computed.
+type countingPolicy struct {
+	EarliestDeadline
+	ranks *int
+}
+
+func (c countingPolicy) Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank {
+	*c.ranks++
+	return c.EarliestDeadline.Rank(rec, occurrence, now)
+}
+
+// TestRanksOfBacklogAreKept guards against a leader that spends its processor time on
+// a long backlog, in place of heartbeats: only what was submitted or became late is
+// ranked.
+func TestRanksOfBacklogAreKept(t *testing.T) {
+	const backlog = 1000
+	ranks := 0
+	base := newFixture(Defaults())
+	s := New(Defaults(), countingPolicy{ranks: &ranks}, place.PeerComparison{MinScore: 3}, base.State, base.now)
+	submit := func(n int, target clock.Millis) {
+		s.Submit(jobs.Job{ID: jobs.ID(fmt.Sprint("j", n)), Queue: "q", Pool: "p", MaxAttempts: 1, Target: target, Steps: []jobs.Step{{TaskCount: 1, Estimate: 100, Resources: jobs.Resources{MilliCores: 20_000}}}}, base.now)
+	}
+	for n := range backlog {
+		submit(n, clock.Day)
+	}
+	submit(backlog, 600)
+	ranks = 0
+	for i := range 20 {
+		base.now += 100
+		s.Heartbeat(Heartbeat{
+			Worker: "w", Incarnation: 1, Machine: "m", Pool: "p", Seq: int64(i), ReceivedAt: base.now, Capacity: jobs.Resources{MilliCores: 16_000},
+		}, base.now)
+		s.Pass(base.now)
+	}
+	p := s.pool("p")
+	assert.Equal(t, p.groupByStep[stepKey{job: jobs.ID(fmt.Sprint("j", backlog))}].rank.Class, classLate)
+	assert.Assert(t, ranks <= 10, "%d ranks were computed", ranks)
+	assert.Equal(t, s.PendingJobs("q"), backlog+1)
+	s.Cancel("j7", base.now)
+	assert.Equal(t, s.PendingJobs("q"), backlog)
+}
--- a/core/state/sched/reservation_test.go
+++ b/core/state/sched/reservation_test.go
@@ -67,7 +67,7 @@
 // step lets busyTickMillis pass.
 func (b *busyPool) step() {
 	b.now += busyTickMillis
-	for b.backlog != nil && len(b.pool("p").groups) < 8 {
+	for b.backlog != nil && b.pool("p").groups.Len() < 8 {
 		b.submitted++
 		b.submit(fmt.Sprint("finite", b.submitted), b.backlog())
 	}
--- a/core/state/sched/reserve.go
+++ b/core/state/sched/reserve.go
@@ -58,7 +58,7 @@
 // resources free. Without this, smaller tasks would take the resources of each task
 // that ends, and a large task would never find enough of them on one worker.
 func (s *Scheduler[P, H]) reserve(p *pool, g *taskGroup, now clock.Millis) {
-	reserved := reservation(g.step)
+	reserved := g.reserved
 	if !g.step.LongRunning || reserved == (jobs.Resources{}) {
 		return
 	}
@@ -97,7 +97,7 @@
 			break
 		}
 		for _, h := range hosts[:min(missing, len(hosts))] {
-			p.addReserved(h.w, reservation(g.step))
+			p.addReserved(h.w, g.reserved)
 			chosen = append(chosen, h.w)
 		}
 	}
@@ -121,7 +121,7 @@
 		if !s.mayHost(w, g, now) || (g.step.MaxPerWorker > 0 && w.taskCount(g.key)+alreadyReserved >= g.step.MaxPerWorker) {
 			continue
 		}
-		if readyAt, ok := w.predictFree(reservation(g.step).Plus(p.reserved[w]), now); ok {
+		if readyAt, ok := w.predictFree(g.reserved.Plus(p.reserved[w]), now); ok {
 			out = append(out, host{w, readyAt})
 		}
 	}
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -53,6 +53,8 @@
 	// pending holds the jobs without a schedule that have not ended and of which
 	// no task is known to have started on a worker.
 	pending map[jobs.ID]*jobs.Record
+	// pendingByQueue holds the number of the pending jobs of each queue.
+	pendingByQueue map[jobs.QueueName]int
 	// scheduled holds the occurrences that are due later than queuedUntil. Tasks of
 	// the others are queued as soon as they wait and their step is ready.
 	scheduled   heap.Heap[scheduledOccurrence]
@@ -199,7 +201,7 @@
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
 		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{},
 		avoided: map[jobs.TaskID][]avoidedWorker{}, failures: map[jobs.ID]*jobFailures{},
-		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{},
+		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
 	}
 	s.readConfig()
 	for _, rec := range state.Jobs {
@@ -316,7 +318,7 @@
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
-	delete(s.pending, rec.ID)
+	s.removePending(rec.ID)
 	delete(s.failures, rec.ID)
 	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
 	if lateness > 0 && rec.Status == jobs.StatusCompleted {
@@ -376,5 +378,5 @@
 	}
 	s.apply(jobs.Op{Kind: jobs.OpConfig, Config: &c}, now)
 	s.readConfig()
-	s.reassignPools()
+	s.reassignPools(now)
 }
--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -29,7 +29,7 @@
 // workerChecks returns the requirements of the tasks of a group, in the order in
 // which they are checked.
 func (s *Scheduler[P, H]) workerChecks(g *taskGroup, now clock.Millis) []workerCheck {
-	reserved := reservation(g.step)
+	reserved := g.reserved
 	free := func(w *worker) jobs.Resources { return w.capacity.Minus(w.used) }
 	if !g.step.LongRunning {
 		free = s.pool(s.poolOf(g.rec)).free
@@ -114,11 +114,11 @@
 	}
 	s.waitingNotedAt = now
 	for _, p := range s.pools {
-		for _, g := range p.groups {
+		for g := range p.groups.All() {
 			if !g.step.LongRunning || g.rec.Status.Final() || len(g.waiting) == 0 || now-g.waitingSince < longWaitMillis {
 				continue
 			}
-			reserved := reservation(g.step)
+			reserved := g.reserved
 			s.noteJob(DecisionTaskWaiting, g.rec, fmt.Sprintf("%d tasks of step %d have waited for %d ms for %d milli-cores and %d MiB each: %s",
 				len(g.waiting), g.key.step, now-g.waitingSince, reserved.MilliCores, reserved.MemoryMiB, s.filterWorkers(g, now)), false)
 		}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -232,7 +232,12 @@
 
 // hasWaiting reports whether tasks of the pool wait for a worker.
 func (p *pool) hasWaiting() bool {
-	return slices.ContainsFunc(p.groups, func(g *taskGroup) bool { return len(g.waiting) > 0 && !g.rec.Status.Final() })
+	for g := range p.groups.All() {
+		if g.live() {
+			return true
+		}
+	}
+	return false
 }
 
 // mayGoDown reports whether the machine of a worker may go down now. It may if
