Log what the leader has handled every two seconds

Cause: the logs of the finding leader-overload do not tell whether reports wait for the runner, for a pass or for a commit.

Change: the line leader-load holds the heartbeats and calls handled, the longest time that one of them waited, and the longest pass and commit.

--- a/core/coord/runner/commit.go
+++ b/core/coord/runner/commit.go
@@ -106,6 +106,8 @@
 	if !suspended {
 		r.confirmedAt = b.startedAt
 	}
+	r.load.commits++
+	r.load.longestCommit = max(r.load.longestCommit, now-b.startedAt)
 	if r.observeCommit != nil {
 		r.observeCommit(now - b.startedAt)
 	}
@@ -113,7 +115,7 @@
 	case b.load:
 		r.scheduler = sched.New(r.settings, r.rank, r.health, b.state, now)
 		r.generation++
-		r.noteLoad(b, now)
+		r.noteLoadedState(b, now)
 	case suspended:
 		r.confirmAgain(b)
 	default:
@@ -155,7 +157,7 @@
 	defer cancel()
 	switch {
 	case b.load:
-		b.err = r.load(ctx, b)
+		b.err = r.readState(ctx, b)
 	case len(b.ops) > 0:
 		b.err = r.propose(ctx, b)
 	default:
@@ -169,19 +171,19 @@
 	return err
 }
 
-// load sets the batch's state to a copy of the committed jobs state. It commits an
+// readState sets the batch's state to a copy of the committed jobs state. It commits an
 // empty change first: the operations of an earlier batch whose commit timed out may
 // still be in this leader's log, and Read does not wait for them. They precede the
 // empty change, so the copy contains them.
-func (r *Runner[G, M, O, J]) load(ctx context.Context, b *batch) error {
+func (r *Runner[G, M, O, J]) readState(ctx context.Context, b *batch) error {
 	if _, err := r.group.Propose(ctx, model.Change{Kind: model.ChangeNone}); err != nil {
 		return err
 	}
 	return r.group.Query(ctx, func(s *fleet.State) { b.state = s.Jobs.Clone() })
 }
 
-// noteLoad explains which state the answers depend on from now on.
-func (r *Runner[G, M, O, J]) noteLoad(b *batch, now clock.Millis) {
+// noteLoadedState explains which state the answers depend on from now on.
+func (r *Runner[G, M, O, J]) noteLoadedState(b *batch, now clock.Millis) {
 	s := b.state
 	r.noteState(sched.DecisionStateLoaded, fmt.Sprintf("term %d, load %d: %d jobs, %d of them ended, configuration %d, after %d ms",
 		b.term, r.generation, len(s.Jobs), len(s.EndedJobs), s.Config.Version, now-b.startedAt))
--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -16,9 +16,13 @@
 		r.handleCommit(in.committed, now)
 	case in.call != nil:
 		r.counts.Calls++
+		r.load.calls[in.call.Kind]++
+		r.load.oldestCall = max(r.load.oldestCall, now-in.receivedAt)
 		r.handleCall(in.call, in.answer, now)
 	case in.heartbeat != nil:
 		r.counts.Heartbeats++
+		r.load.heartbeats++
+		r.load.oldestHeartbeat = max(r.load.oldestHeartbeat, now-in.heartbeat.ReceivedAt)
 		r.handleHeartbeat(in.heartbeat, in.reply, now)
 	case in.departure != nil:
 		if r.scheduler != nil {
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -103,6 +103,7 @@
 	timer  <-chan struct{}
 	wakeAt clock.Millis
 	counts Counts
+	load   load
 }
 
 // waitingHeartbeat is a heartbeat that waits for its answer.
@@ -135,13 +136,15 @@
 // departure, committed and result is set; an input without any only wakes the
 // event loop.
 type input struct {
-	call      *Call
-	answer    chan Answer
-	heartbeat *sched.Heartbeat
-	reply     chan heartbeatResult
-	departure *departure
-	committed *batch
-	result    *actionResult
+	call *Call
+	// receivedAt is set for a call.
+	receivedAt clock.Millis
+	answer     chan Answer
+	heartbeat  *sched.Heartbeat
+	reply      chan heartbeatResult
+	departure  *departure
+	committed  *batch
+	result     *actionResult
 }
 
 // departure is the report that a worker has exited.
@@ -232,7 +235,7 @@
 // have been carried out.
 func (r *Runner[G, M, O, J]) Call(ctx context.Context, c Call) Answer {
 	reply := make(chan Answer, 1)
-	if !r.in.TryPut(input{call: &c, answer: reply}) {
+	if !r.in.TryPut(input{call: &c, receivedAt: r.clock.Now(), answer: reply}) {
 		return unavailable("too many calls wait")
 	}
 	select {
@@ -369,6 +372,9 @@
 		return
 	}
 	p := r.scheduler.Pass(now)
+	r.load.passes++
+	r.load.longestPass = max(r.load.longestPass, r.clock.Now()-now)
+	r.noteLoad(now)
 	r.next.ops = append(r.next.ops, p.Ops...)
 	r.next.actions = append(r.next.actions, p.Actions...)
 	for _, o := range p.Orders {
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -28,6 +28,7 @@
 	DecisionMaintenanceDropped  Decision = "maintenance-dropped"
 	DecisionMachineMissing      Decision = "machine-missing"
 	DecisionWaveCompleted       Decision = "wave-completed"
+	DecisionLeaderLoad          Decision = "leader-load"
 	DecisionStateLoaded         Decision = "state-loaded"
 	DecisionStateDiscarded      Decision = "state-discarded"
 )
@@ -37,7 +38,7 @@
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
 	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
-	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionStateLoaded, DecisionStateDiscarded,
+	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionLeaderLoad, DecisionStateLoaded, DecisionStateDiscarded,
 }
 
 // finalDecision returns the decision that corresponds to a job's final status;
