Handle reports before calls, and refuse calls that waited too long

Cause: heartbeats, submissions and polls stood in one queue of the leader. Entry processes sent a call again after 0.6 s, which added to the load.

Change: calls have a ring of their own, which is read after the reports; calls that waited for 0.3 s are refused with a spread delay as overloaded, and entry processes pass that on at once. A job that is known is never refused. A reply that waits for a commit for 0.8 s renews the lease alone. While reports are handled late, replies without orders are delayed, so that a report covers more ends.

--- a/core/coord/runner/commit.go
+++ b/core/coord/runner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/fleet"
@@ -51,11 +52,7 @@
 		a.reply <- a.answer
 	}
 	for _, o := range b.orders {
-		lease := r.settings.LeaseMillis - max(0, o.waiter.receivedAt-r.confirmedAt)
-		if !o.orders.LeaseGranted {
-			lease = 0
-		}
-		o.waiter.reply <- heartbeatResult{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
+		r.reply(o)
 	}
 	for _, a := range b.actions {
 		if !r.actions.TryPut(pendingAction{Action: a, term: r.term, generation: r.generation, releasedAt: now, skew: r.lastSkew}) {
@@ -64,6 +61,41 @@
 	}
 }
 
+// reply sends the reply to a heartbeat. Its lease counts from the latest time at which
+// this process is known to have led, because a later leader waits for the longest lease
+// from the start of its term.
+func (r *Runner[G, M, O, J]) reply(o pendingOrders) {
+	lease := r.settings.LeaseMillis - max(0, o.waiter.receivedAt-r.confirmedAt)
+	if !o.orders.LeaseGranted {
+		lease = 0
+	}
+	o.waiter.reply <- heartbeatResult{reply: HeartbeatReply{Orders: o.orders, Lease: max(lease, 0), Token: r.term}}
+}
+
+// renewWaiting replies to the heartbeats whose orders have waited for a commit for
+// maxOrderWait. The reply renews the lease and holds none of the orders, which depend
+// on the commit: the worker's next heartbeat lists its ends again, and starts and stops
+// are repeated then. Without it a slow commit would end the runs of the whole fleet.
+func (r *Runner[G, M, O, J]) renewWaiting(now clock.Millis) {
+	batches := []*batch{&r.next}
+	if r.inFlight != nil && r.inFlight.term == r.term {
+		batches = append(batches, r.inFlight)
+	}
+	for _, b := range batches {
+		b.orders = slices.DeleteFunc(b.orders, func(o pendingOrders) bool {
+			at := o.waiter.receivedAt + maxOrderWait
+			if now < at {
+				r.wakeBy(now, at)
+				return false
+			}
+			r.counts.BareRenewals++
+			o.orders = sched.Orders{Worker: o.orders.Worker, Incarnation: o.orders.Incarnation, RetryAfter: r.settings.MinRetryMillis, LeaseGranted: o.orders.LeaseGranted}
+			r.reply(o)
+			return true
+		})
+	}
+}
+
 // failBatch sends the answers for a batch that is not known to be committed. Calls
 // get AnswerOutcomeUnknown if err has KindOutcomeUnknown or they are marked as
 // uncertain, and otherwise AnswerUnavailable.
--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 
 	"camphorridge/core/state/clock"
@@ -14,11 +15,6 @@
 	switch {
 	case in.committed != nil:
 		r.handleCommit(in.committed, now)
-	case in.call != nil:
-		r.counts.Calls++
-		r.load.calls[in.call.Kind]++
-		r.load.oldestCall = max(r.load.oldestCall, now-in.receivedAt)
-		r.handleCall(in.call, in.answer, now)
 	case in.heartbeat != nil:
 		r.counts.Heartbeats++
 		r.load.heartbeats++
@@ -55,17 +51,28 @@
 	r.waiting[h.Worker] = waitingHeartbeat{reply: reply, receivedAt: h.ReceivedAt}
 }
 
-func (r *Runner[G, M, O, J]) handleCall(c *Call, reply chan Answer, now clock.Millis) {
+// handleCall handles a call. It returns false if it refused the call for overload.
+func (r *Runner[G, M, O, J]) handleCall(p *pendingCall, now clock.Millis) bool {
+	c := &p.call
+	r.counts.Calls++
+	r.load.calls[c.Kind]++
+	r.load.oldestCall = max(r.load.oldestCall, now-p.receivedAt)
 	if r.scheduler == nil {
-		reply <- unavailable("no leader is known here")
-		return
+		p.answer <- unavailable("no leader is known here")
+		return true
+	}
+	if now-p.receivedAt > maxCallWait && c.Kind.sheddable() && !r.isKnownSubmission(c) {
+		r.counts.OverloadRefusals++
+		r.load.refusedCalls++
+		p.answer <- overloaded(c, fmt.Sprintf("the call has waited for %d ms", now-p.receivedAt))
+		return false
 	}
 	ops := r.scheduler.PendingOps()
 	a := r.decideCall(c, now)
 	// A submission that adds no operation repeats an earlier one, whose operation
 	// may be part of an earlier batch.
 	uncertain := c.Kind == CallSubmit && r.scheduler.PendingOps() == ops
-	r.next.answers = append(r.next.answers, pendingAnswer{answer: a, reply: reply, uncertain: uncertain})
+	r.next.answers = append(r.next.answers, pendingAnswer{answer: a, reply: p.answer, uncertain: uncertain})
 	switch a.Kind {
 	case AnswerNoJob, AnswerNoQueue, AnswerNoWave:
 		// Only a confirmed leader may answer that something does not exist, because
@@ -75,6 +82,20 @@
 	if c.Kind == CallGetConfig || c.Kind == CallGetWave {
 		r.next.confirm = true
 	}
+	return true
+}
+
+// isKnownSubmission reports whether a call submits a job that was accepted earlier. Its
+// submitter has lost the answer, and a refusal would say that the job never runs.
+func (r *Runner[G, M, O, J]) isKnownSubmission(c *Call) bool {
+	if c.Kind != CallSubmit {
+		return false
+	}
+	id := c.JobID
+	if id == "" {
+		_, id, _ = findQueue(&r.scheduler.State.Config, c.Host, c.Path)
+	}
+	return r.scheduler.State.Jobs[id] != nil
 }
 
 // decideCall applies a call to the scheduler and returns the answer, which is
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"sync"
 	"sync/atomic"
 
@@ -15,8 +16,16 @@
 
 // Limits and timeouts of the runner.
 const (
-	// ringSize is the number of inputs that can wait.
-	ringSize = 4096
+	// ringSize is the number of reports that can wait, and callRingSize that of calls.
+	ringSize     = 4096
+	callRingSize = 1024
+	// maxCallsPerPass is the number of calls that are handled before the reports that
+	// have arrived meanwhile.
+	maxCallsPerPass int = 256
+	// maxCallWait is the time above which a waiting call is refused. An entry process
+	// that gets no answer for twice as long sends the call again, which adds to the
+	// load.
+	maxCallWait clock.Millis = 300
 	// commitTimeout is the limit for one commit, load or confirmation of the
 	// leadership. A leader that can't commit for this long has lost its quorum.
 	commitTimeout = 4 * clock.Second
@@ -31,8 +40,16 @@
 	maxSkewChange clock.Millis = 200
 	// maxIdleTime is the longest time between two checks of the leadership.
 	maxIdleTime = clock.Second
+	// maxOrderWait is the time after the receipt of a heartbeat above which its reply
+	// waits no longer for a commit, but renews the lease alone. A worker drops a reply
+	// that arrives more than a second after its heartbeat.
+	maxOrderWait clock.Millis = 800
 	// retryAfter is the retry delay in all answers of kind AnswerUnavailable.
 	retryAfter clock.Millis = 500
+	// overloadRetryAfter is the shortest retry delay in answers of kind
+	// AnswerOverloaded, and overloadRetrySpread the time over which they are spread.
+	overloadRetryAfter  = clock.Second
+	overloadRetrySpread = 2 * clock.Second
 	// actionSenders is the number of goroutines that send actions to the platform.
 	actionSenders int = 4
 	// actionRingSize is the number of actions that can wait to be sent. Further
@@ -66,7 +83,10 @@
 	// block.
 	observeCommit func(clock.Millis)
 
+	// in holds everything but calls. It is read first: a worker that gets no answer
+	// within its lease gives up its runs, and a caller only has to come back.
 	in              *ring.Ring[input]
+	calls           *ring.Ring[pendingCall]
 	commits         *ring.Ring[*batch]
 	actions         *ring.Ring[pendingAction]
 	done            chan struct{}
@@ -104,6 +124,8 @@
 	wakeAt clock.Millis
 	counts Counts
 	load   load
+	// handledReports is the buffer of turn.
+	handledReports []input
 }
 
 // waitingHeartbeat is a heartbeat that waits for its answer.
@@ -132,19 +154,22 @@
 	skew clock.Millis
 }
 
-// input is one element of the runner's ring. At most one of call, heartbeat,
-// departure, committed and result is set; an input without any only wakes the
-// event loop.
+// input is one element of the runner's ring of reports. At most one of heartbeat,
+// departure, committed and result is set; an input without any only wakes the event
+// loop.
 type input struct {
-	call *Call
-	// receivedAt is set for a call.
+	heartbeat *sched.Heartbeat
+	reply     chan heartbeatResult
+	departure *departure
+	committed *batch
+	result    *actionResult
+}
+
+// pendingCall is a call that waits to be handled.
+type pendingCall struct {
+	call       Call
 	receivedAt clock.Millis
 	answer     chan Answer
-	heartbeat  *sched.Heartbeat
-	reply      chan heartbeatResult
-	departure  *departure
-	committed  *batch
-	result     *actionResult
 }
 
 // departure is the report that a worker has exited.
@@ -213,7 +238,7 @@
 	r := &Runner[G, M, O, J]{
 		Name: cfg.Name, group: cfg.Group, machines: cfg.Machines, rank: cfg.Rank, health: cfg.Health, settings: cfg.Settings,
 		clock: cfg.Clock, notes: cfg.Notes, observeCommit: cfg.ObserveCommit,
-		in: ring.New[input](ringSize), commits: ring.New[*batch](1), actions: ring.New[pendingAction](actionRingSize),
+		in: ring.New[input](ringSize), calls: ring.New[pendingCall](callRingSize), commits: ring.New[*batch](1), actions: ring.New[pendingAction](actionRingSize),
 		done: make(chan struct{}), ended: make(chan struct{}), waiting: map[jobs.WorkerID]waitingHeartbeat{},
 	}
 	r.publishedCounts.Store(&Counts{})
@@ -223,9 +248,8 @@
 // Counts returns a copy of the counters.
 func (r *Runner[G, M, O, J]) Counts() Counts { return *r.publishedCounts.Load() }
 
-// Refused returns the number of inputs that were refused because the ring was
-// full.
-func (r *Runner[G, M, O, J]) Refused() int64 { return r.in.Refused() }
+// Refused returns the number of inputs that were refused because their ring was full.
+func (r *Runner[G, M, O, J]) Refused() int64 { return r.in.Refused() + r.calls.Refused() }
 
 // Wake makes the runner check the leadership at once.
 func (r *Runner[G, M, O, J]) Wake() { r.in.TryPut(input{}) }
@@ -235,8 +259,8 @@
 // have been carried out.
 func (r *Runner[G, M, O, J]) Call(ctx context.Context, c Call) Answer {
 	reply := make(chan Answer, 1)
-	if !r.in.TryPut(input{call: &c, receivedAt: r.clock.Now(), answer: reply}) {
-		return unavailable("too many calls wait")
+	if !r.calls.TryPut(pendingCall{call: c, receivedAt: r.clock.Now(), answer: reply}) {
+		return overloaded(&c, "too many calls wait")
 	}
 	select {
 	case a := <-reply:
@@ -252,6 +276,15 @@
 	return Answer{Kind: AnswerUnavailable, RetryAfter: retryAfter, Reason: reason}
 }
 
+// overloaded returns the answer to a call that is refused because of the load. The
+// delay differs between callers, so that they do not return all at once.
+func overloaded(c *Call, reason string) Answer {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(c.Path))
+	_, _ = h.Write([]byte(c.JobID))
+	return Answer{Kind: AnswerOverloaded, RetryAfter: overloadRetryAfter + clock.Millis(h.Sum32())%overloadRetrySpread, Reason: reason}
+}
+
 // Heartbeat passes a worker's heartbeat to the runner and waits for the answer.
 // A returned error is an *Error; it may be of any kind.
 func (r *Runner[G, M, O, J]) Heartbeat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
@@ -292,29 +325,60 @@
 	for range actionSenders {
 		go r.runActions()
 	}
-	buf := make([]input, 0, ringSize)
 	for {
+		var first *pendingCall
 		select {
 		case <-r.done:
 			r.reset(failf("run", KindOutcomeUnknown, "the process stops"))
 			return nil
 		case in := <-r.in.C():
-			buf = r.in.Drain(append(buf[:0], in), ringSize)
+			r.handledReports = append(r.handledReports, in)
+		case c := <-r.calls.C():
+			first = &c
 		case <-r.timer:
-			buf, r.timer = buf[:0], nil
-		}
-		r.followLeadership()
-		now := r.clock.Now()
-		r.detectSuspension()
-		for i := range buf {
-			r.handleInput(&buf[i], now)
+			r.timer = nil
 		}
-		clear(buf)
-		r.pass()
+		r.turn(first)
 		r.publishedCounts.Store(new(r.counts))
 	}
 }
 
+// turn handles all reports that wait, then first, unless it is nil, and further calls,
+// and makes the decisions that follow from them.
+func (r *Runner[G, M, O, J]) turn(first *pendingCall) {
+	reports := r.in.Drain(r.handledReports, ringSize)
+	r.followLeadership()
+	now := r.clock.Now()
+	r.detectSuspension()
+	for i := range reports {
+		r.handleInput(&reports[i], now)
+	}
+	clear(reports)
+	r.handledReports = reports[:0]
+	r.handleCalls(first, now)
+	r.pass()
+}
+
+// handleCalls handles first, unless it is nil, and calls that wait, at most
+// maxCallsPerPass without those that are refused for overload: in a long queue, all that
+// is left are refused at once, and the calls that have just arrived are handled.
+func (r *Runner[G, M, O, J]) handleCalls(first *pendingCall, now clock.Millis) {
+	handled := 0
+	if first != nil && r.handleCall(first, now) {
+		handled++
+	}
+	for handled < maxCallsPerPass {
+		select {
+		case c := <-r.calls.C():
+			if r.handleCall(&c, now) {
+				handled++
+			}
+		default:
+			return
+		}
+	}
+}
+
 // detectSuspension discards the confirmation of the leadership after a
 // suspension of the machine: the clock stood still during it, so the
 // confirmation is older than it appears. A step of the wall clock can't be told
@@ -392,6 +456,7 @@
 		r.notes(p.Notes)
 	}
 	r.startNextBatch(now)
+	r.renewWaiting(now)
 	r.wakeBy(now, min(p.NextPass, now+maxIdleTime))
 }
 
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -115,6 +115,16 @@
 	CallGetWave
 )
 
+// sheddable reports whether calls of the kind are refused when they have waited for
+// too long. The calls of operators and cancels are few and free the fleet of work.
+func (k CallKind) sheddable() bool {
+	switch k {
+	case CallSubmit, CallStatus, CallPending, CallExplain, CallList:
+		return true
+	}
+	return false
+}
+
 // Call is a request of a submitter or an operator.
 type Call struct {
 	Kind CallKind
@@ -152,10 +162,16 @@
 	AnswerUnavailable
 	// AnswerOutcomeUnknown means that the call may or may not be carried out.
 	AnswerOutcomeUnknown
+	// AnswerOverloaded is like AnswerUnavailable, but the leader has more calls than
+	// it can handle: the call must not be repeated before RetryAfter.
+	AnswerOverloaded
+
+	// LastAnswerKind is the highest kind of answer.
+	LastAnswerKind = AnswerOverloaded
 )
 
 var answerNames = [...]string{
-	"done", "no-queue", "no-job", "no-wave", "invalid", "unavailable", "unknown",
+	"done", "no-queue", "no-job", "no-wave", "invalid", "unavailable", "unknown", "overloaded",
 }
 
 // String returns the name of the kind in logs and metrics.
@@ -186,7 +202,7 @@
 	// WaveCompleted is set for CallGetWave.
 	WaveCompleted bool
 	// RetryAfter is the delay after which a caller may retry; set for
-	// AnswerUnavailable.
+	// AnswerUnavailable and AnswerOverloaded.
 	RetryAfter clock.Millis
 	// Reason says why the call was not carried out; empty for AnswerDone.
 	Reason string
@@ -207,7 +223,13 @@
 	Heartbeats int64
 	// StaleHeartbeats counts the heartbeats that the scheduler ignored as outdated.
 	StaleHeartbeats int64
-	Calls           int64
+	// BareRenewals counts the replies that renewed a lease without the orders, because
+	// the commit of these took too long.
+	BareRenewals int64
+	Calls        int64
+	// OverloadRefusals counts the calls that were refused because they had waited for
+	// too long. Calls includes them.
+	OverloadRefusals int64
 	// Batches counts the commits that were started, including loads and
 	// confirmations of the leadership. Operations counts the operations in them.
 	Batches    int64
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -15,6 +15,7 @@
 // heartbeat processed.
 func (s *Scheduler[P, H]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	s.now = max(s.now, now)
+	s.pace.observe(now - h.ReceivedAt)
 	w := s.workers[h.Worker]
 	if w != nil && (h.Incarnation < w.incarnation || (h.Incarnation == w.incarnation && w.reported && h.Seq <= w.seq)) {
 		return false
@@ -360,11 +361,20 @@
 // immediately if a task of the worker may end soon, because the worker can
 // report the end only after the reply. The delay is at most speedPeriodMillis
 // while best-effort tasks run next to a serving task whose tail latency is above
-// fastTailPermille of its target, because their speed may have to change.
+// fastTailPermille of its target, because their speed may have to change. While the
+// leader is overloaded, only replies with orders are not delayed; see pace.
 func (s *Scheduler[P, H]) replyTime(w *worker, now clock.Millis) clock.Millis {
-	if w.heartbeat.urgent || len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0 {
+	switch {
+	case len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0:
 		return now
+	case w.heartbeat.urgent:
+		return now + s.pace.delay
 	}
+	return now + max(s.replyDelay(w, now), s.pace.delay)
+}
+
+// replyDelay returns by how much the reply to a heartbeat without news is delayed.
+func (s *Scheduler[P, H]) replyDelay(w *worker, now clock.Millis) clock.Millis {
 	delay := s.settings.MaxReplyDelayMillis
 	if worstPermille, bestEffortTasks := w.tailLatency(); bestEffortTasks > 0 && worstPermille > fastTailPermille {
 		delay = min(delay, speedPeriodMillis)
@@ -373,9 +383,9 @@
 		delay = min(delay, end-now-2*s.settings.MinRetryMillis)
 	}
 	if delay < 2*s.settings.MinRetryMillis {
-		return now
+		return 0
 	}
-	return now + delay
+	return delay
 }
 
 // predictNextEnd predicts when the next task of the worker ends. ok is false if the
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -15,6 +15,7 @@
 // the fleet.
 func (s *Scheduler[P, H]) Pass(now clock.Millis) Plan {
 	s.now = max(s.now, now)
+	s.pace.update(now, s.settings.MaxReplyDelayMillis)
 	s.expireLeases(now)
 	s.queueDueOccurrences(now)
 	s.advanceWaves(now)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -67,6 +67,7 @@
 	// been renewed when the end in an entry is reached, the entry is replaced
 	// by one with the new end.
 	leaseEnds heap.Heap[leaseEnd]
+	pace      pace
 	// dirtyPools holds the pools with newly available workers or new waiting
 	// work; the next pass places tasks only in these.
 	dirtyPools map[*pool]bool
--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -56,7 +56,7 @@
 // returns an error if the kind or the status of the answer, or the status of a job
 // in it, is not defined.
 func AnswerFromWire(w *wirepb.WorkAnswer) (runner.Answer, error) {
-	kind, err := enumFromWire("answer", "kind", w.GetKind(), runner.AnswerOutcomeUnknown)
+	kind, err := enumFromWire("answer", "kind", w.GetKind(), runner.LastAnswerKind)
 	if err != nil {
 		return runner.Answer{}, err
 	}
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -100,7 +100,9 @@
 	registerCounters(r, []counter{
 		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
 		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
+		{"heartbeats-renewed-alone", count(func(n runner.Counts) int64 { return n.BareRenewals })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
+		{"job-calls-refused", count(func(n runner.Counts) int64 { return n.OverloadRefusals })},
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
 		{"job-operations", count(func(n runner.Counts) int64 { return n.Operations })},
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -78,7 +78,7 @@
 // submitStats holds statistics about the calls of submitters.
 type submitStats struct {
 	// answers holds the number of answers of each kind.
-	answers [runner.AnswerOutcomeUnknown + 1]atomic.Int64
+	answers [runner.LastAnswerKind + 1]atomic.Int64
 	// callMillis records the duration of each call, in ms.
 	callMillis metrics.Histogram
 }
@@ -110,14 +110,23 @@
 }
 
 // call sends a call to the leader until there is a definite answer or ctx is done. It
-// gives up at refuseAt if the call has certainly not been executed by then.
+// gives up at refuseAt if the call has certainly not been executed by then, and at once
+// if the leader is overloaded: another attempt would add to its load.
 func (s SubmitService) call(ctx context.Context, c runner.Call, refuseAt clock.Millis) runner.Answer {
 	uncertain := false
 	for {
 		a := s.callLeader(ctx, c)
-		uncertain = uncertain || a.Kind == runner.AnswerOutcomeUnknown
-		inconclusive := a.Kind == runner.AnswerOutcomeUnknown || a.Kind == runner.AnswerUnavailable
-		if !inconclusive {
+		delay := retryDelay
+		switch a.Kind {
+		case runner.AnswerOutcomeUnknown:
+			uncertain = true
+		case runner.AnswerUnavailable:
+		case runner.AnswerOverloaded:
+			if !uncertain {
+				return a
+			}
+			delay = a.RetryAfter
+		default:
 			return a
 		}
 		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= refuseAt) {
@@ -127,7 +136,7 @@
 			return a
 		}
 		select {
-		case <-s.clock.After(retryDelay):
+		case <-s.clock.After(delay):
 		case <-ctx.Done():
 		}
 	}
