Call the outcome of a submission unknown after a lost answer

Cause: a call whose first attempt got no answer was tried again, and when the next member answered that nothing was done, that refusal was passed on as true of the whole call.

Change: a refusal after an attempt that may have been executed becomes an answer of unknown outcome, which the entry process asks about again.

--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -52,7 +52,8 @@
 // CallRunner sends a call to the leader's runner. After an *Error of
 // KindOutcomeUnknown the call may have been executed, by any of the attempts. After
 // an *Error of another kind it was not; it is of KindUnavailable if ctx ended before
-// any attempt could have executed the call.
+// any attempt could have executed the call. An answer that the call was not executed
+// holds for all attempts; otherwise it is of kind AnswerOutcomeUnknown.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
 	mayHaveRun := false
@@ -70,6 +71,10 @@
 		mayHaveRun = mayHaveRun || err != nil
 		return err
 	})
+	if mayHaveRun && (a.Kind == runner.AnswerUnavailable || a.Kind == runner.AnswerOverloaded) {
+		// The refusal is true of the last attempt alone.
+		a.Kind, a.Reason = runner.AnswerOutcomeUnknown, "an earlier attempt may have been executed; the last one was not: "+a.Reason
+	}
 	var e *Error
 	switch {
 	case !errors.As(err, &e):
--- a/io/trans/peers/work_test.go
+++ b/io/trans/peers/work_test.go
@@ -125,3 +125,27 @@
 	r, err := l.Propose(ctx, model.Change{Kind: model.ChangeNone})
 	assert.Assert(t, err != nil && MayHaveRun(err), "%+v, %v", r, err)
 }
+
+// refusingWork refuses every call as not carried out.
+type refusingWork struct{ kind runner.AnswerKind }
+
+func (w refusingWork) Call(context.Context, runner.Call) runner.Answer {
+	return runner.Answer{Kind: w.kind, RetryAfter: 700, Reason: "no leader is known here"}
+}
+
+// TestRefusalAfterUnknownOutcome guards against a submission that is refused as never
+// run by the second member asked, although the answer of the first was lost.
+func TestRefusalAfterUnknownOutcome(t *testing.T) {
+	fails := serveWork(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	for _, kind := range []runner.AnswerKind{runner.AnswerUnavailable, runner.AnswerOverloaded} {
+		s := WorkServer[refusingWork]{Runner: refusingWork{kind}, Stamps: zeroStamps{}, RequireLeader: func() error { return nil }}
+		refuses := serveWork(t, wirepb.NewWorkServer(s))
+		a, err := callWorker(refuses)
+		assert.NilError(t, err)
+		assert.Equal(t, a.Kind, kind)
+		a, err = callWorker(fails, refuses)
+		assert.NilError(t, err)
+		assert.Equal(t, a.Kind, runner.AnswerOutcomeUnknown)
+		assert.Equal(t, a.RetryAfter, clock.Millis(700))
+	}
+}
