--- a/core/state/raft/fleet_losses_test.go
+++ b/core/state/raft/fleet_losses_test.go
@@ -22,7 +22,14 @@
 
 // TestLosses guards against a group that loses acknowledged writes, or that cannot
 // commit for longer than the users' page allows, after the losses of that page.
-func TestLosses(t *testing.T) {
+func TestLosses(t *testing.T) { testDays(t, false) }
+
+// TestLossesAndFullDisks guards against the same when disks also refuse writes for a
+// while, alone and beside the other losses: of the leader, of a follower, of several.
+func TestLossesAndFullDisks(t *testing.T) { testDays(t, true) }
+
+// testDays plays seeded days.
+func testDays(t *testing.T, fullDisks bool) {
 	count := losses
 	if n, err := strconv.Atoi(os.Getenv(lossesEnv)); err == nil {
 		count = max(count, n)
@@ -42,7 +49,7 @@
 	for range runtime.GOMAXPROCS(0) {
 		wait.Go(func() {
 			for seed, ok := take(); ok; seed, ok = take() {
-				f := playDay(uint64(seed))
+				f := playDay(uint64(seed), fullDisks)
 				mu.Lock()
 				for name, n := range f.counts {
 					total[name] += n
@@ -60,7 +67,11 @@
 	wait.Wait()
 	t.Logf("%d days: %v", count, total)
 	// Days with too few of these events would check too little.
-	for _, name := range []string{"crash", "disk", "gone", "planned", "cut", "frozen", "slow", "set-voters", "remove", "joint"} {
+	names := []string{"crash", "disk", "gone", "planned", "cut", "frozen", "slow", "set-voters", "remove", "joint"}
+	if fullDisks {
+		names = append(names, "full")
+	}
+	for _, name := range names {
 		assert.Check(t, total[name] >= count/20, "only %d %s events in %d days", total[name], name, count)
 	}
 }
@@ -70,8 +81,9 @@
 func beyondTolerance(seed uint64) bool { return seed%2 == 0 }
 
 // playDay plays one day: losses at random times, then a final loss, and a recovery.
-func playDay(seed uint64) *fleet {
+func playDay(seed uint64, fullDisks bool) *fleet {
 	f := newFleet(seed, sites[seed/2%uint64(len(sites))])
+	f.fullDisks = fullDisks
 	f.lossPercent, f.maxDelay = f.random.IntN(3), 2+f.random.IntN(25)
 	next := f.now
 	for end := f.now + 10*clock.Second + clock.Millis(f.random.IntN(20_000)); f.now < end && f.err == nil; {
@@ -244,6 +256,13 @@
 func (f *fleet) disturb(p *place) {
 	h := p.current
 	d := f.longTime()
+	if f.fullDisks && f.random.IntN(2) == 0 {
+		f.counts["full"]++
+		f.noteJoint(p)
+		h.fullDisk = true
+		p.restoreAt, p.restore = f.now+d, func() { h.fullDisk = false }
+		return
+	}
 	kind := f.random.IntN(8)
 	if kind < 2 {
 		f.counts["crash"]++
--- a/core/state/raft/fleet_test.go
+++ b/core/state/raft/fleet_test.go
@@ -93,6 +93,8 @@
 	probes    map[int64]clock.Millis
 	lastProbe int64
 	scanned   int
+	// fullDisks is set if disks also refuse writes for a while.
+	fullDisks bool
 	// counts holds the number of events by name.
 	counts map[string]int
 }
--- a/core/state/raft/simulation_test.go
+++ b/core/state/raft/simulation_test.go
@@ -50,6 +50,10 @@
 	slowDisk bool
 	// diskDelay is the maximum additional time of a write in milliseconds.
 	diskDelay int
+	// fullDisk is set while the disk refuses all writes. refusedUntil is the time at
+	// which a refused write is tried again; 0 for no refused write.
+	fullDisk     bool
+	refusedUntil clock.Millis
 	// frozen is set while the process is paused and gets no processor time.
 	frozen bool
 	// clockLag is the time by which the host's clock is late, because it stood still
@@ -172,7 +176,7 @@
 		hard := []*HardState{out.Hard, nil}[sim.random.IntN(2)]
 		h.disk.write(hard, out.Append[:sim.random.IntN(len(out.Append)+1)])
 	}
-	h.node, h.writing, h.frozen, h.suspended = nil, nil, false, false
+	h.node, h.writing, h.refusedUntil, h.frozen, h.suspended = nil, nil, 0, false, false
 }
 
 // wipe crashes a host and restarts it with an empty disk and a new member ID.
@@ -211,10 +215,13 @@
 		sim.deliver(f.m)
 	}
 	for _, h := range sim.hosts {
-		if h.node != nil && !h.frozen {
+		if h.node == nil || h.frozen {
+			continue
+		}
+		if h.refusedUntil == 0 {
 			h.node.Tick(sim.clockOf(h))
-			sim.process(h)
 		}
+		sim.process(h)
 	}
 }
 
@@ -223,7 +230,7 @@
 
 func (sim *simulation) deliver(m Message) {
 	h, from := sim.byID(m.To), sim.byID(m.From)
-	if h == nil || h.node == nil || h.cutIn || (from != nil && (from.partition != h.partition || from.cutOut)) {
+	if h == nil || h.node == nil || h.refusedUntil > 0 || h.cutIn || (from != nil && (from.partition != h.partition || from.cutOut)) {
 		return
 	}
 	if err := h.node.Step(m, sim.clockOf(h)); err != nil {
@@ -254,13 +261,26 @@
 				}
 			}
 		}
-		if h.writeDue > sim.now {
+		if h.writeDue > sim.now || h.refusedUntil > sim.now {
+			return
+		}
+		if h.fullDisk && h.writing.writes() {
+			// Package group handles a failed write in this way.
+			h.refusedUntil = sim.now + writeRetryDelay
+			h.node.StepDown()
 			return
 		}
+		h.refusedUntil = 0
 		sim.completeWrite(h)
 	}
 }
 
+// writeRetryDelay is the delay before a refused write is tried again.
+const writeRetryDelay clock.Millis = 500
+
+// writes reports whether the output has something to write.
+func (o *Output) writes() bool { return o.Hard != nil || len(o.Append) > 0 || o.Install != nil }
+
 // completeWrite completes the write in progress and then sends the messages,
 // applies the entries and answers the reads of the output.
 func (sim *simulation) completeWrite(h *host) {
