--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -35,11 +35,12 @@
 }
 
 // inLeaderLease reports whether this member leads, or knows a leader and received
-// a message from it within the minimum election timeout. This member then grants
-// no votes, so that a member that was partitioned or removed cannot depose the
-// leader.
+// a message from it within the minimum election timeout, or may have received one
+// before it started again. This member then grants no votes, so that a member that was
+// partitioned or removed cannot depose the leader, and so that a leader that was
+// confirmed a moment ago can answer reads.
 func (n *Node) inLeaderLease() bool {
-	if n.role == RoleLeader {
+	if n.role == RoleLeader || (n.startedAt > 0 && n.now-n.startedAt < n.cfg.ElectionTimeout) {
 		return true
 	}
 	return n.leader != 0 && n.now-n.lastLeaderContact < n.cfg.ElectionTimeout
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -26,6 +26,8 @@
 	// lastLeaderContact is the time of the last message from a leader. While this
 	// member follows a leader, it refers to the leader of the current term.
 	lastLeaderContact clock.Millis
+	// startedAt is when a member that has been in a group started; 0 for a new one.
+	startedAt clock.Millis
 	electionDeadline  clock.Millis
 	nextHeartbeat     clock.Millis
 
@@ -100,6 +102,9 @@
 	if t := n.log.lastTerm(); t > n.term {
 		n.term, n.vote = t, 0
 	}
+	if n.term > 0 {
+		n.startedAt = now
+	}
 	n.resetElectionTimer()
 	return n
 }
--- a/core/state/raft/node_test.go
+++ b/core/state/raft/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -225,3 +226,43 @@
 	var e *Error
 	assert.Assert(t, errors.As(err, &e) && e.Kind == KindPending)
 }
+
+// TestRestartedMemberKeepsLeaderLease guards against a stale answer of a leader that a
+// follower has just confirmed: the follower starts again and at once elects a member
+// that the leader cannot reach.
+func TestRestartedMemberKeepsLeaderLease(t *testing.T) {
+	for seed := range uint64(50) {
+		sim, old := newConverged(t, seed)
+		var follower, cut *host
+		for _, h := range sim.hosts {
+			switch {
+			case h == old:
+			case follower == nil:
+				follower = h
+			default:
+				cut = h
+			}
+		}
+		// cut hears nothing of the leader, and its own messages reach the follower.
+		deaf := func() {
+			sim.network = slices.DeleteFunc(sim.network, func(f inFlight) bool {
+				return f.m.To == cut.self.ID && f.m.From == old.self.ID || f.m.From == cut.self.ID && f.m.To == old.self.ID
+			})
+		}
+		step := func() {
+			deaf()
+			sim.run(1)
+		}
+		for cut.node.Role() != RoleCandidate {
+			step()
+		}
+		sim.crash(follower)
+		sim.start(follower)
+		restarted := sim.now
+		for sim.now < restarted+sim.cfg.ElectionTimeout-1 {
+			step()
+			assert.Assert(t, cut.node.Role() != RoleLeader, "seed %d: elected %d ms after the restart", seed, sim.now-restarted)
+		}
+		assert.NilError(t, sim.err)
+	}
+}
