Reject entries of a Raft message that do not follow each other

Cause: a follower that received an append whose entries have indexes other than those after the message's index took the entries that it knows for granted, and raised its commit index above the end of its log. The next output ended the process with a slice out of range.

Change: the indexes are checked before anything else is done.

--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -128,6 +128,11 @@
 // entry would replace a committed one or leave a gap.
 func (n *Node) onAppend(m Message) error {
 	prev, prevTerm, es := m.Index, m.LogTerm, m.Entries
+	for i, e := range es {
+		if e.Index != prev+uint64(i)+1 {
+			return failf("append", KindInvalid, "entry %d stands in place of entry %d", e.Index, prev+uint64(i)+1)
+		}
+	}
 	// Committed entries are the same on every leader; skip those in the message.
 	if prev < n.commit {
 		skip := min(n.commit-prev, uint64(len(es)))
@@ -152,7 +157,7 @@
 		if t, ok := n.log.term(e.Index); ok && t == e.Term {
 			continue
 		}
-		if e.Index <= n.commit || e.Index != prev+uint64(i)+1 {
+		if e.Index <= n.commit {
 			return failf("append", KindInvalid, "entry %d of term %d contradicts the log with commit index %d", e.Index, e.Term, n.commit)
 		}
 		n.truncateLog(e.Index)
