Clear the lost mark of an instance that reports right after a change of leader

Cause: a new leader forgot that an instance was reported before it begins to clear lost marks, 5 s into its term, and entry processes report an unchanged instance once in a term.

Change: an instance stays among the newly announced ones until its mark is cleared.

--- a/core/coord/mover/mover_test.go
+++ b/core/coord/mover/mover_test.go
@@ -225,6 +225,30 @@
 	assert.Equal(t, s.instance("i8").ID, model.InstanceID("i8"), "the instance was not enrolled")
 }
 
+// TestReportDuringWarmUpClearsLoss guards against an instance that stays marked as lost,
+// and is replaced by another one, although it is reported: its report came right after
+// a change of leader, before marks are cleared. Entry processes report an unchanged
+// instance once in a term.
+func TestReportDuringWarmUpClearsLoss(t *testing.T) {
+	s := newSimulation(t)
+	a := s.live["i0"]
+	delete(s.live, "i0")
+	s.run(10 * clock.Second)
+	assert.Assert(t, s.instance("i0").LostSince != 0, "the instance was not marked as lost")
+	s.live["i0"] = a
+	s.group.term++
+	s.run(clock.Second)
+	for range 20 {
+		s.clock.Advance(clock.Second)
+		for _, p := range []model.Process{"e1", "e2"} {
+			s.mover.handleInput(input{report: &follow.Report{Process: p, Zone: "za", Incarnation: 1, Version: s.group.state.Version}})
+		}
+		s.mover.pass()
+	}
+	assert.Equal(t, s.instance("i0").LostSince, clock.Millis(0), "it is reported again")
+	assert.Equal(t, len(s.mover.registry.NewlyAnnounced), 0)
+}
+
 // TestSilentProcessHidesNoLoss guards against missing the loss of an instance
 // because an entry process that reported it failed at the same time, and against
 // keeping an instance marked as lost although a process that was only suspended
--- a/core/coord/mover/registry.go
+++ b/core/coord/mover/registry.go
@@ -223,14 +223,15 @@
 	return true
 }
 
-// ClearEnrolled removes from NewlyAnnounced the instances that are in table t,
-// whether or not they are still marked as lost there, and those that are no longer
-// live.
+// ClearEnrolled removes from NewlyAnnounced the instances that are in table t and not
+// marked as lost there, and those that are no longer live. A mark may be cleared in a
+// later pass: MarkLost waits for the end of the warm-up, and a change holds a limited
+// number of steps.
 func (g *Registry) ClearEnrolled(t model.Table) {
 	for id := range g.NewlyAnnounced {
-		_, known := t.Instances[id]
+		i, known := t.Instances[id]
 		_, live := g.Live[id]
-		if known || !live {
+		if (known && i.LostSince == 0) || !live {
 			delete(g.NewlyAnnounced, id)
 		}
 	}
