--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -52,7 +52,8 @@
 	s.repeatOrders(w, h.MoreEnds, now)
 	s.stopStalledRuns(w, now)
 	s.adjustSpeed(w, now)
-	if !w.draining {
+	s.confirmWorker(w, h, now)
+	if !w.draining && w.confirmed {
 		p := s.pool(w.pool)
 		p.available[w.id] = w
 		s.dirtyPools[p] = true
@@ -61,6 +62,13 @@
 	return true
 }
 
+// confirmWorker notes whether the worker is known to be there: its heartbeat came after
+// the pause that the first reply in this term asked for, so that it was sent after it.
+func (s *Scheduler[P, H]) confirmWorker(w *worker, h Heartbeat, now clock.Millis) {
+	answers := w.repliedAt > 0 && h.ReceivedAt >= w.repliedAt+s.settings.MinRetryMillis
+	w.confirmed = w.confirmed || answers || now >= s.termStart+s.settings.LateHeartbeatMillis
+}
+
 // replyBy sets the time at which a worker's heartbeat must be answered, unless
 // an earlier time is set.
 func (s *Scheduler[P, H]) replyBy(w *worker, at clock.Millis) {
@@ -365,7 +373,7 @@
 // leader is overloaded, only replies with orders are not delayed; see pace.
 func (s *Scheduler[P, H]) replyTime(w *worker, now clock.Millis) clock.Millis {
 	switch {
-	case len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0:
+	case len(w.heartbeat.starts) > 0 || len(w.heartbeat.stops) > 0 || !w.confirmed:
 		return now
 	case w.heartbeat.urgent:
 		return now + s.pace.delay
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -287,6 +287,9 @@
 			RetryAfter: s.retryAfter(w, now), LeaseGranted: true,
 		})
 		w.heartbeat = nil
+		if w.repliedAt == 0 {
+			w.repliedAt = now
+		}
 		delete(s.pool(w.pool).available, w.id)
 	}
 }
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -119,6 +119,11 @@
 	draining bool
 	// reported is set once the worker has sent a heartbeat in this term.
 	reported bool
+	// repliedAt is the time of the first reply to the worker in this term; 0 for none.
+	// confirmed is set once a heartbeat has followed it, or no late heartbeat can
+	// arrive any more.
+	repliedAt clock.Millis
+	confirmed bool
 	// leaseUntil is the end of the longest lease that the worker may have.
 	leaseUntil clock.Millis
 	runs       map[jobs.TaskID]*run
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -95,6 +95,7 @@
 		failures: map[jobs.TaskID]int{}, countedFailures: map[runKey]bool{}, started: map[jobs.ID]bool{}, nextIncarnation: 1, settings: Defaults(),
 	}
 	sim.settings.BacklogTargetMillis = 0
+	sim.settings.LateHeartbeatMillis = 10 * clock.Second
 	sim.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{
 		Version: 1, Pools: []jobs.Pool{{Name: "p", AdmissionControl: true}},
 		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: simMaxAttempts, Target: 3000, StretchPermille: 1500}},
--- a/core/state/sched/takeover_simulation_test.go
+++ b/core/state/sched/takeover_simulation_test.go
@@ -103,7 +103,9 @@
 		sim.committed.Apply(p.plan.Ops, sim.now)
 	}
 	sim.plans, sim.listAt = nil, 0
-	sim.leader = New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, sim.committed.Clone(), sim.now)
+	settings := Defaults()
+	settings.LateHeartbeatMillis = 10 * clock.Second
+	sim.leader = New(settings, EarliestDeadline{}, place.PeerComparison{MinScore: 3}, sim.committed.Clone(), sim.now)
 }
 
 func (sim *takeoverSimulation) submitTo(queue jobs.QueueName, id string, step jobs.Step) {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -17,6 +17,11 @@
 	// MaxReplyDelayMillis limits the delay of the reply to a heartbeat. A worker
 	// drops a reply that arrives more than a second after its heartbeat.
 	MaxReplyDelayMillis clock.Millis
+	// LateHeartbeatMillis is the longest time by which a heartbeat may arrive late. For
+	// so long, a new leader gives new tasks only to workers that answer it: it doesn't
+	// know which workers have left, and a late heartbeat looks like one of a worker
+	// that is there.
+	LateHeartbeatMillis clock.Millis
 	// MinRetryMillis and MaxRetryMillis limit the pause that a worker makes
 	// before its next heartbeat.
 	MinRetryMillis clock.Millis
