Elect current voters before members that voted by an earlier list

A restarted member knows a commit index that is older than the change of the voters, so that the earlier list may still be in force and the standby may campaign; it resigns when its first entry commits the change.

Change: a member that is no voter in its latest list campaigns two election timeouts later. After a restart votes are refused for half of an election timeout, 0.35 s on the platform, which covers the 0.3 s for which a confirmed leader answers reads.

--- a/core/state/raft/election.go
+++ b/core/state/raft/election.go
@@ -3,10 +3,15 @@
 import "camphorridge/core/state/clock"
 
 // resetElectionTimer sets the next election deadline to a random timeout
-// between one and two election timeouts from now.
+// between one and two election timeouts from now. A member that votes only by an earlier
+// list, which may still be in force, waits for two more: it would resign as soon as the
+// current list is committed, so that the current voters should be elected first.
 func (n *Node) resetElectionTimer() {
 	t := n.cfg.ElectionTimeout
 	n.electionDeadline = n.now + t + clock.Millis(n.random.Int64N(int64(t)))
+	if m, _ := n.member(n.self); !m.Voter && !m.OldVoter {
+		n.electionDeadline += 2 * t
+	}
 }
 
 // becomeFollower makes the member a follower in the given term. leader is 0
@@ -37,10 +42,10 @@
 // inLeaderLease reports whether this member leads, or knows a leader and received
 // a message from it within the minimum election timeout, or may have received one
 // before it started again. This member then grants no votes, so that a member that was
-// partitioned or removed cannot depose the leader, and so that a leader that was
-// confirmed a moment ago can answer reads.
+// partitioned or removed cannot depose the leader. A leader may answer reads for half of
+// the election timeout after it was confirmed, which a restart must not cut short.
 func (n *Node) inLeaderLease() bool {
-	if n.role == RoleLeader || (n.startedAt > 0 && n.now-n.startedAt < n.cfg.ElectionTimeout) {
+	if n.role == RoleLeader || (n.startedAt > 0 && n.now-n.startedAt < n.cfg.ElectionTimeout/2) {
 		return true
 	}
 	return n.leader != 0 && n.now-n.lastLeaderContact < n.cfg.ElectionTimeout
