--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -27,9 +27,9 @@
 	// member follows a leader, it refers to the leader of the current term.
 	lastLeaderContact clock.Millis
 	// startedAt is when a member that has been in a group started; 0 for a new one.
-	startedAt clock.Millis
-	electionDeadline  clock.Millis
-	nextHeartbeat     clock.Millis
+	startedAt        clock.Millis
+	electionDeadline clock.Millis
+	nextHeartbeat    clock.Millis
 
 	log entryLog
 	// commit never decreases. applied is the index of the last committed entry
