Start a wave with the machines that wait for each other

The log shows the last ones go down one after the other, at 26.5, 27.5, 28.5 and 30.7 s: their long-running tasks share steps of which one may be away, and they came last because finite tasks ran on them. A task that a wave ended started again on another machine of the wave, and tasks of a step that were too many on one machine left it one by one, each only when none was away.

Change: machines that wait for each other come first, long-running tasks avoid machines that are still to be maintained, and as many tasks leave a machine as may be away.

Result: three tests fail without one of the changes each (mutations: the order, the cost at 0, the old condition). TestLateOrderEndsLaterWorker named the first order by its place; it takes the order of the machine without a worker now, wherever it stands, and checks the same.

--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -146,6 +146,9 @@
 	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2", "m-w3"}, MaxDown: 3, Deadline: 1000}, f.now)
 	orders := f.advance(200, "w1", "w2")
 	assert.Equal(t, len(orders), 2)
+	if orders[1].Machine == "m-w3" {
+		slices.Reverse(orders)
+	}
 	assert.Equal(t, orders[0].Machine, jobs.MachineID("m-w3"))
 	f.HandleOutcome(orders[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
 	late := string(orders[1].Machine[len("m-"):])
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -246,6 +246,9 @@
 	// mixedBestEffortCost applies for each long-running task on the worker that
 	// is best-effort while the placed task is not, or the reverse.
 	mixedBestEffortCost = 10
+	// maintenanceDueCost applies if the worker's machine is to be maintained in an open
+	// wave, which would end the task once more.
+	maintenanceDueCost = 50
 	// firstLongRunningCost applies if the worker runs no long-running task, so
 	// that some workers stay without and their machines can be moved or powered
 	// off.
@@ -261,6 +264,9 @@
 	if !w.hasLongRunning() {
 		cost += firstLongRunningCost
 	}
+	if s.maintenanceDue[w.machine] {
+		cost += maintenanceDueCost
+	}
 	for _, x := range s.pool(w.pool).available {
 		if x != w && x.rack == w.rack && w.rack != "" {
 			cost += x.taskCount(g.key)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -47,6 +47,8 @@
 	waves     map[int]*wave
 	// cordons holds the machines whose workers are cordoned.
 	cordons map[jobs.MachineID]bool
+	// maintenanceDue holds the machines of open waves whose maintenance has not started.
+	maintenanceDue map[jobs.MachineID]bool
 	// absences holds the machines of waves that may no longer exist.
 	absences map[jobs.MachineID]*absence
 	fleet    machineFleet
@@ -204,7 +206,7 @@
 	s := &Scheduler[P, H]{
 		settings: settings, rankPolicy: policy, healthPolicy: health, State: state, termStart: now, now: now, queuedUntil: now,
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
-		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, absences: map[jobs.MachineID]*absence{},
+		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, maintenanceDue: map[jobs.MachineID]bool{}, absences: map[jobs.MachineID]*absence{},
 		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{},
 		avoided: map[jobs.TaskID][]avoidedWorker{}, failures: map[jobs.ID]*jobFailures{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -108,6 +108,7 @@
 		return
 	}
 	s.nextWaveCheck = now + waveCheckPeriodMillis
+	s.updateMaintenanceDue()
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
 		s.clearReturned(v, now)
@@ -120,6 +121,21 @@
 	s.updateCordons()
 }
 
+// updateMaintenanceDue sets maintenanceDue.
+func (s *Scheduler[P, H]) updateMaintenanceDue() {
+	clear(s.maintenanceDue)
+	for _, v := range s.waves {
+		if v.isComplete() {
+			continue
+		}
+		for _, m := range v.Machines {
+			if !v.Started[m] {
+				s.maintenanceDue[m] = true
+			}
+		}
+	}
+}
+
 // clearReturned ends the downtime of machines whose worker has returned from
 // it. A downtime also ends after the longest time that a maintenance
 // can take, because no worker returns on some machines, such as those that are
@@ -144,9 +160,10 @@
 
 // advanceWave orders the maintenance of machines of a wave and keeps new tasks
 // off the machines that come next. At most MaxDown machines are down at a time,
-// and no more than the deadline requires. Machines of pools without waiting
-// work come first, so that the wave takes little capacity from pools that need
-// it.
+// and no more than the deadline requires. Machines that have to go down one after the
+// other come first, because the others can go down together at the end, and then those
+// of pools without waiting work, so that the wave takes little capacity from pools that
+// need it.
 func (s *Scheduler[P, H]) advanceWave(v *wave, now clock.Millis) {
 	var remaining []jobs.MachineID
 	for _, m := range v.Machines {
@@ -155,8 +172,9 @@
 		}
 	}
 	parallel, behind := s.requiredParallelism(v, now), s.behindSchedule(v, now)
+	rounds := s.availabilityRounds(remaining)
 	slices.SortStableFunc(remaining, func(x, y jobs.MachineID) int {
-		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
+		return cmp.Or(cmp.Compare(rounds[y], rounds[x]), cmp.Compare(s.disruptionCost(x), s.disruptionCost(y)))
 	})
 	toOrder, toCordon := parallel-len(v.down), parallel
 	next := map[jobs.MachineID]bool{}
@@ -205,6 +223,37 @@
 	return int(min(max((remainingMachines*perMachine+timeLeft-1)/timeLeft, 1), clock.Millis(v.MaxDown)))
 }
 
+// availabilityRounds returns for each machine how often machines have to wait for each
+// other until the last of those that run a task of the same long-running step can go
+// down, because at most MaxUnavailable tasks of the step may be away at a time. Machines
+// that wait for no other have no entry.
+func (s *Scheduler[P, H]) availabilityRounds(machines []jobs.MachineID) map[jobs.MachineID]int {
+	tasks := map[stepKey]int{}
+	bounded := func(m jobs.MachineID, f func(stepKey, int)) {
+		w := s.workerByMachine[m]
+		if w == nil {
+			return
+		}
+		for t, r := range w.runs {
+			if r.step.LongRunning && r.step.MaxUnavailable > 0 && !r.rec.Status.Final() {
+				f(stepKeyOf(t), r.step.MaxUnavailable)
+			}
+		}
+	}
+	for _, m := range machines {
+		bounded(m, func(k stepKey, _ int) { tasks[k]++ })
+	}
+	rounds := map[jobs.MachineID]int{}
+	for _, m := range machines {
+		bounded(m, func(k stepKey, away int) {
+			if n := (tasks[k] - 1) / away; n > rounds[m] {
+				rounds[m] = n
+			}
+		})
+	}
+	return rounds
+}
+
 // disruptionCost ranks the machines for maintenance, the lowest cost first. The
 // cost is lowest for a machine without a worker. It grows with the number of
 // finite tasks on the machine, and by more if tasks of its pool are waiting.
@@ -274,7 +323,7 @@
 		if unavailable-s.unavailableOn(w, k)+n <= rec.Steps[k.step].MaxUnavailable {
 			continue
 		}
-		if unavailable == 0 && n > 1 {
+		if most := rec.Steps[k.step].MaxUnavailable; n > most && unavailable < most {
 			s.stopOneTask(w, k, n)
 		}
 		return false
--- a/core/state/sched/wave_availability_test.go
+++ b/core/state/sched/wave_availability_test.go
@@ -215,3 +215,79 @@
 	f.now += f.settings.MaxReplyDelayMillis
 	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w2").Stops), 0)
 }
+
+// TestMachinesThatWaitForEachOtherGoFirst guards against a wave that comes late because
+// machines that can only go down one after the other, for the availability of a step,
+// are left to the end.
+func TestMachinesThatWaitForEachOtherGoFirst(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 3, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+	serving := []string{"w4", "w5", "w6"}
+	for _, id := range serving {
+		f.heartbeat(id, 1, nil)
+	}
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
+	for _, id := range serving {
+		f.heartbeatServing(id, 100)
+	}
+	wave := jobs.Wave{Number: 1, MaxDown: 1, Deadline: 60_000}
+	for _, id := range []string{"w1", "w2", "w3", "w4", "w5", "w6"} {
+		wave.Machines = append(wave.Machines, jobs.MachineID("m-"+id))
+		if f.workers[jobs.WorkerID(id)] == nil {
+			f.heartbeat(id, 1, nil)
+		}
+	}
+	f.DeclareWave(wave, f.now)
+	orders := actionsOf(f.Pass(f.now), ActionMaintain)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Machine, jobs.MachineID("m-w4"))
+}
+
+// TestLongRunningTaskAvoidsMachineOfWave guards against a long-running task that a wave
+// ends twice, and a wave that has to wait for it twice, because it starts on a machine
+// that is still to go down.
+func TestLongRunningTaskAvoidsMachineOfWave(t *testing.T) {
+	f := newFixture(Defaults())
+	f.now += f.settings.TakeoverDelayMillis
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2", "m-w3", "m-w4"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	workers := []string{"w1", "w2", "w3", "w4", "w5"}
+	for _, id := range workers {
+		f.heartbeat(id, 1, nil)
+	}
+	f.Pass(f.now)
+	f.now += 1000
+	f.submit("serve", jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 1})
+	for _, id := range workers {
+		f.heartbeat(id, 1, nil)
+	}
+	assert.Equal(t, len(ordersFor(f.Pass(f.now), "w5").Starts), 1)
+}
+
+// TestTasksLeaveMachineOfWaveTogether guards against a machine that stays up because more
+// tasks of a step are on it than may be away, which were stopped one by one, each only
+// while no task of the step was away.
+func TestTasksLeaveMachineOfWaveTogether(t *testing.T) {
+	f := newFixture(Defaults())
+	f.submit("serve", jobs.Step{TaskCount: 4, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, LongRunning: true, MaxUnavailable: 2})
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.now += f.settings.TakeoverDelayMillis + 100
+	f.heartbeatServing("w1", 100)
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1"}, MaxDown: 1, Deadline: 60_000}, f.now)
+	stops := 0
+	for range 4 {
+		f.now += waveCheckPeriodMillis
+		plan := f.Pass(f.now)
+		assert.Equal(t, len(actionsOf(plan, ActionMaintain)), 0)
+		stops += len(ordersFor(plan, "w1").Stops)
+	}
+	assert.Equal(t, stops, 1, "the other stops go with the reply to the next heartbeat")
+	stopping := 0
+	for _, r := range f.workers["w1"].runs {
+		if r.stopping {
+			stopping++
+		}
+	}
+	assert.Equal(t, stopping, 2)
+}
