--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -131,6 +131,16 @@
 	history map[jobs.QueueName]*place.ClassHistory
 }
 
+// hasWaiting reports whether tasks of the pool wait for a worker.
+func (p *pool) hasWaiting() bool {
+	for g := range p.groups.All() {
+		if g.live() {
+			return true
+		}
+	}
+	return false
+}
+
 // stepKey identifies a step of one occurrence of a job.
 type stepKey struct {
 	job        jobs.ID
