--- a/core/coord/runner/overload_test.go
+++ b/core/coord/runner/overload_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -179,3 +180,40 @@
 	accepted := o.runner.scheduler.PendingJobs("q")
 	assert.Assert(t, accepted >= o.answers[AnswerDone] && accepted <= o.answers[AnswerDone]+len(o.sent), "%d jobs accepted", accepted)
 }
+
+// TestSlowCommitRenewsLeases guards against runs that end because the answer to their
+// worker waits for a commit that takes longer than the worker waits, and against orders
+// that are sent before their commit.
+func TestSlowCommitRenewsLeases(t *testing.T) {
+	g, fake := newFakeGroup(), clock.NewFake(overloadStart)
+	r := startAt(t, g, fake.Clock())
+	gate := make(chan struct{})
+	g.set(func() { g.gate = gate })
+	submitted := make(chan Answer, 1)
+	go func() { submitted <- r.Call(context.Background(), submit("/q/a")) }()
+	for blocked := 0; blocked == 0; g.set(func() { blocked = g.blocked }) {
+		<-clock.Real().After(1)
+	}
+	replies := make(chan HeartbeatReply, 1)
+	go func() {
+		reply, _ := sendHeartbeat(r, 1)
+		replies <- reply
+	}()
+	var first HeartbeatReply
+	for answered := false; !answered; {
+		select {
+		case first = <-replies:
+			answered = true
+		case <-clock.Real().After(2):
+			fake.Advance(20)
+		}
+	}
+	assert.Assert(t, first.Lease > 0 && first.Lease <= r.settings.LeaseMillis)
+	assert.Equal(t, len(first.Orders.Starts), 0)
+	g.set(func() { g.gate = nil })
+	close(gate)
+	assert.Equal(t, (<-submitted).Kind, AnswerDone)
+	second, err := sendHeartbeat(r, 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(second.Orders.Starts), 2)
+}
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -359,9 +359,9 @@
 	r.pass()
 }
 
-// handleCalls handles first, unless it is nil, and calls that wait, at most
-// maxCallsPerPass without those that are refused for overload: in a long queue, all that
-// is left are refused at once, and the calls that have just arrived are handled.
+// handleCalls handles first, unless it is nil, and calls that wait, maxCallsPerPass at
+// most. Calls that are refused for overload don't count: a long queue is cleared of them
+// at once, and the calls that have just arrived are handled in time.
 func (r *Runner[G, M, O, J]) handleCalls(first *pendingCall, now clock.Millis) {
 	handled := 0
 	if first != nil && r.handleCall(first, now) {
