Order the ends of ranks by what does not change

The tie of two ends at the same time was decided by the rank, which may change while the entry is in the heap. No test covers it; the tests of the package pass.

--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -217,9 +217,11 @@
 	g  *taskGroup
 }
 
-// Before orders by time, then by the order of the groups.
+// Before orders by time, then by the order of acceptance, step and occurrence. The rank
+// of a group may change while an entry for it is in the heap.
 func (e rankEnd) Before(other rankEnd) bool {
-	return e.at < other.at || (e.at == other.at && e.g.Before(other.g))
+	return cmp.Or(cmp.Compare(e.at, other.at), cmp.Compare(e.g.rec.Seq, other.g.rec.Seq), cmp.Compare(e.g.key.step, other.g.key.step),
+		cmp.Compare(e.g.key.occurrence, other.g.key.occurrence)) < 0
 }
 
 // scheduledOccurrence is an occurrence that is not due yet.
