Take back the order of a wave by machines that wait for each other

Machines that can't go down yet, for the availability of their steps, stood first and were kept from new tasks in a surge.

Change: the order is by disruption cost again. Long-running tasks still avoid machines of a wave, and tasks still leave a machine together; their tests stay. TestMachinesThatWaitForEachOtherGoFirst guarded the order that is taken back and goes with it.

--- a/core/state/sched/availability.go
+++ b/core/state/sched/availability.go
@@ -7,37 +7,6 @@
 	"camphorridge/core/state/jobs"
 )
 
-// availabilityRounds returns for each machine how often machines have to wait for each
-// other until the last of those that run a task of the same long-running step can go
-// down, because at most MaxUnavailable tasks of the step may be away at a time. Machines
-// that wait for no other have no entry.
-func (s *Scheduler[P, H]) availabilityRounds(machines []jobs.MachineID) map[jobs.MachineID]int {
-	tasks := map[stepKey]int{}
-	bounded := func(m jobs.MachineID, f func(stepKey, int)) {
-		w := s.workerByMachine[m]
-		if w == nil {
-			return
-		}
-		for t, r := range w.runs {
-			if r.step.LongRunning && r.step.MaxUnavailable > 0 && !r.rec.Status.Final() {
-				f(stepKeyOf(t), r.step.MaxUnavailable)
-			}
-		}
-	}
-	for _, m := range machines {
-		bounded(m, func(k stepKey, _ int) { tasks[k]++ })
-	}
-	rounds := map[jobs.MachineID]int{}
-	for _, m := range machines {
-		bounded(m, func(k stepKey, away int) {
-			if n := (tasks[k] - 1) / away; n > rounds[m] {
-				rounds[m] = n
-			}
-		})
-	}
-	return rounds
-}
-
 // mayGoDown reports whether the machine of a worker may go down now. It may if
 // all tasks except long-running ones have ended or may be ended, and if no step
 // of which a task may serve there would exceed its MaxUnavailable. A starting task may
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -160,10 +160,9 @@
 
 // advanceWave orders the maintenance of machines of a wave and keeps new tasks
 // off the machines that come next. At most MaxDown machines are down at a time,
-// and no more than the deadline requires. Machines that have to go down one after the
-// other come first, because the others can go down together at the end, and then those
-// of pools without waiting work, so that the wave takes little capacity from pools that
-// need it.
+// and no more than the deadline requires. Machines of pools without waiting
+// work come first, so that the wave takes little capacity from pools that need
+// it.
 func (s *Scheduler[P, H]) advanceWave(v *wave, now clock.Millis) {
 	var remaining []jobs.MachineID
 	for _, m := range v.Machines {
@@ -172,9 +171,8 @@
 		}
 	}
 	parallel, behind := s.requiredParallelism(v, now), s.behindSchedule(v, now)
-	rounds := s.availabilityRounds(remaining)
 	slices.SortStableFunc(remaining, func(x, y jobs.MachineID) int {
-		return cmp.Or(cmp.Compare(rounds[y], rounds[x]), cmp.Compare(s.disruptionCost(x), s.disruptionCost(y)))
+		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
 	})
 	toOrder, toCordon := parallel-len(v.down), parallel
 	next := map[jobs.MachineID]bool{}
