Ask a group whether tasks of it wait in one place

The loops over waiting work in load.go and waiting.go wrote out the check that taskGroup.live holds since the groups stand in a sorted list. The behaviour is the same: a group without waiting tasks adds no work. Formatter, vet, linter and the tests of sched, order and runner pass.

--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -140,7 +140,7 @@
 func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
 	n := 0
 	for g := range p.groups.All() {
-		if g.step.LongRunning && !g.rec.Status.Final() && len(g.waiting) > 0 && now-g.waitingSince > unplacedWaitMillis {
+		if g.step.LongRunning && g.live() && now-g.waitingSince > unplacedWaitMillis {
 			perMachine := max(g.step.MaxPerWorker, 1)
 			n = max(n, (len(g.waiting)+perMachine-1)/perMachine)
 		}
@@ -202,7 +202,7 @@
 func (p *pool) waitingMilliCoreMillis() clock.Millis {
 	milliCoreMillis := clock.Millis(0)
 	for g := range p.groups.All() {
-		if g.step.BestEffort || g.rec.Status.Final() || g.rank.Class == classLate {
+		if g.step.BestEffort || !g.live() || g.rank.Class == classLate {
 			continue
 		}
 		duration := g.step.Estimate
--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -115,7 +115,7 @@
 	s.waitingNotedAt = now
 	for _, p := range s.pools {
 		for g := range p.groups.All() {
-			if !g.step.LongRunning || g.rec.Status.Final() || len(g.waiting) == 0 || now-g.waitingSince < longWaitMillis {
+			if !g.step.LongRunning || !g.live() || now-g.waitingSince < longWaitMillis {
 				continue
 			}
 			reserved := g.reserved
