--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -62,6 +62,19 @@
 	return slices.Clone(s.workers)
 }
 
+// workersUp returns the number of workers that have not ended.
+func (s *system) workersUp() int {
+	n := 0
+	for _, w := range s.allWorkers() {
+		select {
+		case <-w.ended:
+		default:
+			n++
+		}
+	}
+	return n
+}
+
 // allEvents returns the events of all workers for tasks of a job.
 func (s *system) allEvents(job string) []event {
 	var all []event
@@ -308,7 +321,7 @@
 		return false, nil
 	}
 	s.client(entry, http.MethodGet, small, "", 3*time.Second)
-	s.rec.note("LOST: %v after the end of the traffic no task of job %s has run: %d workers of pool-1 are up, with 500 of 4000 milli-cores of each in use, and a task needs 500",
+	s.rec.note("LOST: %v after the end of the traffic no task of job %s has run: %d workers of pool-1 are up, with 500 of 16000 milli-cores of each in use, and a task needs 500",
 		finishBound+idleBound, small, smallPool-1)
 	return true, nil
 }
@@ -351,6 +364,42 @@
 		return false, nil
 	}
 	s.client(direct, http.MethodGet, job, "", 3*time.Second)
-	s.rec.note("LOST: %v after the end of the traffic no task of job %s has run on any of %d workers, of which each has 4000 milli-cores for tasks of 500", finishBound+idleBound, job, len(s.allWorkers()))
+	s.rec.note("LOST: %v after the end of the traffic no task of job %s has run; %d workers are up, with 16000 milli-cores each for 8 tasks of 500", finishBound+idleBound, job, s.workersUp())
+	return true, nil
+}
+
+// Figures of playLargeReply: the specification has the largest size that a client may
+// use.
+const (
+	largeSpecBytes = 4000
+	smallTasks     = 1400
+)
+
+// playLargeReply: a client hands in a job of many small tasks with a large specification.
+// Another job runs beside it.
+func playLargeReply(s *system, trouble bool) (bool, error) {
+	const other, job = "00000000000000f7", "00000000000000f8"
+	_, direct, _, _, err := s.startAll(12 * time.Second)
+	if err != nil {
+		return false, err
+	}
+	if status := s.client(direct, http.MethodPost, other, fmt.Sprintf(twoTasks, 12000), 3*time.Second); status != http.StatusOK {
+		return false, fmt.Errorf("the submission was answered with %d", status)
+	}
+	time.Sleep(time.Second)
+	spec := "build"
+	if trouble {
+		spec = strings.Repeat("x", largeSpecBytes)
+	}
+	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":10,"memMb":16,"estimateMs":2000}]}`, spec, smallTasks)
+	s.rec.note("client: the next job has a specification of %d bytes and %d tasks of 10 milli-cores and 16 MB", len(spec), smallTasks)
+	if status := s.client(direct, http.MethodPost, job, body, 3*time.Second); status != http.StatusOK {
+		return false, fmt.Errorf("the submission was answered with %d", status)
+	}
+	if s.startsInTime(job, time.Now()) {
+		return false, nil
+	}
+	s.client(direct, http.MethodGet, job, "", 3*time.Second)
+	s.rec.note("LOST: %v after the end of the traffic no task of job %s has run; %d workers are up, with 16000 milli-cores each for %d tasks of 10", finishBound+idleBound, job, s.workersUp(), smallTasks)
 	return true, nil
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,7 @@
 	"lost-answer":       playLostAnswer,
 	"foreign-heartbeat": playForeignHeartbeat,
 	"escaped-spec":      playEscapedSpec,
+	"large-reply":       playLargeReply,
 	"stuck-wave":        playStuckWave,
 }
 
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -20,6 +20,9 @@
 	maxLease         = 10 * time.Second
 )
 
+// maxReplyBytes is the largest answer to a heartbeat that acknowledges it.
+const maxReplyBytes = 4 << 20
+
 // event is the start or the end of a run on a worker.
 type event struct {
 	at     time.Time
@@ -132,7 +135,7 @@
 }
 
 func (w *worker) capacity() map[string]int {
-	return map[string]int{"cpu": 4000, "memMb": 8192, "gpu": 0}
+	return map[string]int{"cpu": 16000, "memMb": 32768, "gpu": 0}
 }
 
 // loop sends heartbeats, and ends runs that are done or whose lease has ended.
@@ -223,12 +226,17 @@
 		RetryMs   int     `json:"retryMs"`
 		Heartbeat string  `json:"heartbeatUrl"`
 	}
-	parseErr := json.Unmarshal(body, &reply)
+	var parseErr error
+	if len(body) > maxReplyBytes {
+		parseErr = fmt.Errorf("it has %d bytes, more than %d", len(body), maxReplyBytes)
+	} else {
+		parseErr = json.Unmarshal(body, &reply)
+	}
 	if status/100 != 2 || parseErr != nil || time.Since(sent) > heartbeatTimeout {
 		w.target = ""
 		if status/100 == 2 && parseErr != nil && !w.unreadable {
 			w.unreadable = true
-			w.s.rec.note("worker %s: the answer to a heartbeat is not JSON (%v): %.300s", w.id, parseErr, body)
+			w.s.rec.note("worker %s: the answer to a heartbeat can't be used (%v): %.300s", w.id, parseErr, body)
 		}
 		w.refused++
 		if w.refused == 3 {
