--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -403,3 +403,76 @@
 	s.rec.note("LOST: %v after the end of the traffic no task of job %s has run; %d workers are up, with 16000 milli-cores each for %d tasks of 10", finishBound+idleBound, job, s.workersUp(), smallTasks)
 	return true, nil
 }
+
+// Figures of playReplacedVoter: the settings bounds.graceS, bounds.catchUpS and
+// bounds.recoveryS, and the time that the new machine gets before the old one is stopped.
+const (
+	grace        = 6 * time.Second
+	successorLed = 10 * time.Second
+	diskDown     = time.Second
+	recovery     = 12 * time.Second
+)
+
+// playReplacedVoter: a control machine is replaced as planned: the new one comes first,
+// and the old one is stopped and removed after more than twice catchUpS. Right after that
+// another control machine loses its disk.
+func playReplacedVoter(s *system, trouble bool) (bool, error) {
+	const job = "00000000000000a7"
+	if err := s.startControls(); err != nil {
+		return false, err
+	}
+	if err := s.configure(1, true); err != nil {
+		return false, err
+	}
+	for n := 1; n <= 4; n++ {
+		s.startWorker(n, 2*time.Second)
+	}
+	entry, err := s.startEntry(s.seeds())
+	if err != nil {
+		return false, err
+	}
+	if status := s.client(entry, http.MethodPost, job, fmt.Sprintf(twoTasks, 2000), 3*time.Second); status != http.StatusOK {
+		return false, fmt.Errorf("the submission was answered with %d", status)
+	}
+	leader := s.leader()
+	old, other := 1+leader%3, 1+(leader+1)%3
+	if err := s.startAddedControl(old); err != nil {
+		return false, err
+	}
+	time.Sleep(successorLed)
+	if s.leader() != leader {
+		return false, errLeaderChanged
+	}
+	s.terminate(s.controls[old-1], grace)
+	s.rec.note("operator: control machine %d, a follower, has got SIGTERM and is removed for good; its successor started %v before", old, successorLed)
+	if trouble {
+		if err := s.loseDisk(s.controls[other-1]); err != nil {
+			return false, err
+		}
+		s.rec.note("control machine %d has lost its disk", other)
+		time.Sleep(diskDown)
+		s.controls[other-1].joins = true
+		if err := s.start(s.controls[other-1], other, s.seeds()); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(recovery + 2*time.Second)
+	known := false
+	for range 5 {
+		if s.client(entry, http.MethodGet, job, "", 3*time.Second) == http.StatusOK {
+			known = true
+			break
+		}
+		time.Sleep(2 * time.Second)
+	}
+	for n := range s.controls {
+		if n != old-1 {
+			status, _ := call(http.MethodGet, "http://"+s.addr(kindControl, n+1, controlPort)+"/camphorridge/config", "", "", time.Second)
+			s.rec.note("operator: read of the configuration at control machine %d: status %d", n+1, status)
+		}
+	}
+	if !known {
+		s.rec.note("LOST: over %v after all machines are back an accepted job can't be asked for, and no configuration can be read", recovery)
+	}
+	return !known, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,7 @@
 	"foreign-heartbeat": playForeignHeartbeat,
 	"escaped-spec":      playEscapedSpec,
 	"large-reply":       playLargeReply,
+	"replaced-voter":    playReplacedVoter,
 	"stuck-wave":        playStuckWave,
 }
 
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,8 +41,11 @@
 type process struct {
 	role, ip string
 	settings string
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	// joins is set once the machine does not belong to those with which the whole system
+	// started for the first time, or has lost its disk.
+	joins  bool
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // system is the system under test with its stand-ins.
@@ -114,7 +118,7 @@
 	lines := []string{
 		fmt.Sprintf("node=%s-%d", p.role, n), "role=" + p.role, "ip=" + p.ip, fmt.Sprintf("zone=zone-%d", n), "region=region-1",
 		"zones.zone-1=region-1", "zones.zone-2=region-1", "zones.zone-3=region-1",
-		fmt.Sprintf("portRange=%d,%d", peerPort, peerPort+15), "seeds=" + strings.Join(seeds, ","), "bootstrap=true",
+		fmt.Sprintf("portRange=%d,%d", peerPort, peerPort+15), "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%v", !p.joins),
 		"limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "discovery=registry", "entry=vip", "heartbeatMs=1500",
 		"faultTolerance.machines=1", "faultTolerance.zones=1", "faultTolerance.regions=0",
 		"bounds.contactMs=3000", "bounds.ackTimeoutMs=4000", "bounds.catchUpS=4", "bounds.drainMs=2000", "bounds.graceS=6",
@@ -124,7 +128,7 @@
 	}
 	if p.role == "control" {
 		lines = append(lines, "machineClass=core", "serves=control", "inTolerance=true", "listen.control="+net.JoinHostPort(p.ip, fmt.Sprint(controlPort)),
-			"dataDir="+filepath.Join(s.dir, "data-"+p.ip))
+			"dataDir="+s.dataFolder(p))
 	} else {
 		lines = append(lines, "machineClass=edge", "serves=edge", "inTolerance=false", "listen.front="+net.JoinHostPort(p.ip, fmt.Sprint(frontPort)),
 			"listen.readiness="+net.JoinHostPort(p.ip, fmt.Sprint(readyPort)))
@@ -163,6 +167,35 @@
 	return nil
 }
 
+// startAddedControl starts a control process on a new machine in the zone of the process
+// with the given number.
+func (s *system) startAddedControl(zone int) error {
+	p := &process{role: "control", ip: s.ip(kindControl, len(s.controls)+1), joins: true}
+	err := s.start(p, zone, s.seeds())
+	s.controls = append(s.controls, p)
+	return err
+}
+
+// terminate sends SIGTERM to a process and waits until it has exited, for at most grace.
+func (s *system) terminate(p *process, grace time.Duration) {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(grace):
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
+}
+
+// loseDisk kills a control process and removes its data folder.
+func (s *system) loseDisk(p *process) error {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+	return os.RemoveAll(s.dataFolder(p))
+}
+
+func (s *system) dataFolder(p *process) string { return filepath.Join(s.dir, "data-"+p.ip) }
+
 // startControls starts three control processes and waits for a leader.
 func (s *system) startControls() error {
 	for n := range 3 {
