Limit the start orders in one reply

Cause: all tasks are placed on one worker, and the reply with their starts has 5.6 MB. A worker accepts 4 MiB; a larger reply acknowledges nothing, and the starts are repeated until the runs count as lost.

Change: the scheduler puts start orders into a reply up to MaxStartBytes of text, an eighth of what a worker accepts, because JSON takes up to six bytes for one. The next heartbeat doesn't list the other runs, so that the next replies have their orders; until then they don't count as unconfirmed. Line starts-deferred.

--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -309,13 +309,6 @@
 	s.stopRun(w, r, "the worker is draining")
 }
 
-// startOrder returns the order to start a run from the task's latest
-// checkpoint.
-func (s *Scheduler[P, H]) startOrder(w *worker, r *run) Start {
-	ticket, _ := s.ticket(w, stepKeyOf(r.task), s.now)
-	return Start{Task: r.task, Run: r.number, Spec: r.rec.Spec, Checkpoint: r.rec.Task(r.task).Checkpoint, Ticket: ticket}
-}
-
 // stopRun orders the stop of a run in the next reply to its worker.
 func (s *Scheduler[P, H]) stopRun(w *worker, r *run, reason string) {
 	if r.stopping {
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -14,6 +14,7 @@
 	DecisionStarted             Decision = "run-started"
 	DecisionEnded               Decision = "run-ended"
 	DecisionStopped             Decision = "run-stopped"
+	DecisionStartsDeferred      Decision = "starts-deferred"
 	DecisionQuarantined         Decision = "worker-set-aside"
 	DecisionTaskWaiting         Decision = "task-waiting"
 	DecisionRunNotListed        Decision = "run-not-listed"
@@ -36,7 +37,7 @@
 // Decisions lists all kinds of decision, for the documentation page that
 // explains them.
 var Decisions = []Decision{
-	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped,
+	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped, DecisionStartsDeferred,
 	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionLeaderLoad, DecisionStateLoaded, DecisionStateDiscarded,
 }
@@ -73,6 +74,11 @@
 	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Task: r.task, Run: r.number, Worker: w.id, Reason: reason})
 }
 
+// noteWorker adds a note on a worker to the plan.
+func (s *Scheduler[P, H]) noteWorker(decision Decision, w *worker, reason string) {
+	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Worker: w.id, Reason: reason})
+}
+
 // noteJob adds a note on a job to the plan.
 func (s *Scheduler[P, H]) noteJob(decision Decision, rec *jobs.Record, reason string, important bool) {
 	s.plan.Notes = append(s.plan.Notes, Note{Decision: decision, Task: jobs.TaskID{Job: rec.ID}, Reason: reason, Important: important})
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -288,9 +288,13 @@
 		if w.heartbeat != d.heartbeat || w.heartbeat.replyBy != d.at {
 			continue
 		}
+		retryAfter := s.retryAfter(w, now)
+		if s.limitStarts(w) {
+			retryAfter = s.settings.MinRetryMillis
+		}
 		s.plan.Orders = append(s.plan.Orders, Orders{
 			Worker: w.id, Incarnation: w.incarnation, AckUpTo: w.heartbeat.ackUpTo, Starts: w.heartbeat.starts, Stops: w.heartbeat.stops, Throttles: w.heartbeat.throttles,
-			RetryAfter: s.retryAfter(w, now), LeaseGranted: true,
+			RetryAfter: retryAfter, LeaseGranted: true,
 		})
 		w.heartbeat = nil
 		if w.repliedAt == 0 {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -26,6 +26,9 @@
 	// before its next heartbeat.
 	MinRetryMillis clock.Millis
 	MaxRetryMillis clock.Millis
+	// MaxStartBytes limits the texts of the start orders in one reply. A worker drops a
+	// reply that is too large. The first order is sent in any case.
+	MaxStartBytes int
 	// TakeoverDelayMillis is how long a new leader waits before it orders
 	// maintenance or moves, so that it and the previous leader do not order
 	// them for the same machine in turn.
@@ -60,7 +63,7 @@
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
-		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxReplyDelayMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250,
+		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxReplyDelayMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250, MaxStartBytes: 512 << 10,
 		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second, MaxQuarantinedPercent: 25,
 		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, ReserveMachines: 2,
 		StallMillis: 1500,
