Ignore heartbeats of pools that are not configured

Cause: a later incarnation on a machine replaces the worker there; the scheduler didn't ask whether the pool of a heartbeat is configured.

Change: the scheduler ignores a heartbeat whose pool is not configured, unless it is that of a worker known by the same ID and incarnation, whose pool the configuration has dropped. Entries of the list of machines with such a pool no longer change the powered-off machines or the size of the largest machine.

Why it works: such a heartbeat changes no state, so that it drops no worker and takes no machine, before the first configuration as well.

--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -37,10 +37,7 @@
 		return
 	}
 	if !r.scheduler.Heartbeat(*h, now) {
-		r.counts.StaleHeartbeats++
-		// The reason names the usual case. The incarnation may also have been removed,
-		// or a newer worker may run on the machine.
-		reply <- heartbeatResult{err: failf("heartbeat", KindStale, "a later heartbeat of this worker was already received")}
+		reply <- heartbeatResult{err: r.ignoredHeartbeat(h)}
 		return
 	}
 	if old, ok := r.waiting[h.Worker]; ok {
@@ -51,6 +48,21 @@
 	r.waiting[h.Worker] = waitingHeartbeat{reply: reply, receivedAt: h.ReceivedAt}
 }
 
+// ignoredHeartbeat counts a heartbeat that the scheduler ignored, and returns the reason.
+func (r *Runner[G, M, O, J]) ignoredHeartbeat(h *sched.Heartbeat) *Error {
+	switch {
+	case r.scheduler.State.Config.Version == 0:
+		return failf("heartbeat", KindNotLeader, "no configuration is in force")
+	case !r.scheduler.InKnownPool(*h):
+		r.counts.UnknownPoolHeartbeats++
+		return failf("heartbeat", KindUnknownPool, "the configuration does not name pool %s", h.Pool)
+	}
+	r.counts.StaleHeartbeats++
+	// The reason names the usual case. The incarnation may also have been removed,
+	// or a newer worker may run on the machine.
+	return failf("heartbeat", KindStale, "a later heartbeat of this worker was already received")
+}
+
 // handleCall handles a call. It returns false if it refused the call for overload.
 func (r *Runner[G, M, O, J]) handleCall(p *pendingCall, now clock.Millis) bool {
 	c := &p.call
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -29,6 +29,10 @@
 	// arrived before this one was answered. In the second case the scheduler has
 	// processed the heartbeat.
 	KindStale
+	// KindUnknownPool means that the scheduler ignored the heartbeat because no
+	// configuration names its pool. The sender may be none of the system's workers, or
+	// its pool may be part of the next configuration.
+	KindUnknownPool
 )
 
 // Error is the error type of the package.
@@ -223,6 +227,8 @@
 	Heartbeats int64
 	// StaleHeartbeats counts the heartbeats that the scheduler ignored as outdated.
 	StaleHeartbeats int64
+	// UnknownPoolHeartbeats counts those that it ignored because of their pool.
+	UnknownPoolHeartbeats int64
 	// BareRenewals counts the replies that renewed a lease without the orders, because
 	// the commit of these took too long.
 	BareRenewals int64
--- a/core/state/sched/exclusion_simulation_test.go
+++ b/core/state/sched/exclusion_simulation_test.go
@@ -93,6 +93,7 @@
 		idleSince: map[jobs.TaskID]clock.Millis{}, fullSince: map[jobs.TaskID]clock.Millis{},
 		servingAt: map[jobs.TaskID]clock.Millis{}, ordered: map[jobs.TaskID]bool{},
 	}
+	sim.committed.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &jobs.Config{Version: 1, Pools: []jobs.Pool{{Name: "p"}}}}}, sim.now)
 	sim.finiteMillis = []clock.Millis{800, 1700, 17_000}[sim.rand.IntN(3)]
 	sim.elect()
 	for n := range 6 + sim.rand.IntN(4) {
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -9,13 +9,16 @@
 )
 
 // Heartbeat processes a heartbeat; the reply is part of a later plan. It
-// ignores an outdated heartbeat and returns false: one whose incarnation was
-// removed or is earlier than that of the worker or of another worker on the
-// machine, or whose sequence number is not higher than that of the last
-// heartbeat processed.
+// ignores a heartbeat of an unknown pool (see InKnownPool) and an outdated one, and
+// returns false: one whose incarnation was removed or is earlier than that of the
+// worker or of another worker on the machine, or whose sequence number is not higher
+// than that of the last heartbeat processed.
 func (s *Scheduler[P, H]) Heartbeat(h Heartbeat, now clock.Millis) bool {
 	s.now = max(s.now, now)
 	s.pace.observe(now - h.ReceivedAt)
+	if !s.InKnownPool(h) {
+		return false
+	}
 	w := s.workers[h.Worker]
 	if w != nil && (h.Incarnation < w.incarnation || (h.Incarnation == w.incarnation && w.reported && h.Seq <= w.seq)) {
 		return false
@@ -62,6 +65,15 @@
 	return true
 }
 
+// InKnownPool reports whether a heartbeat names a pool of the configuration, or the pool
+// of a known worker, which the configuration may have dropped since. A heartbeat of any
+// other pool may come from a program that is none of the system's workers, although it
+// names the machine or the ID of one.
+func (s *Scheduler[P, H]) InKnownPool(h Heartbeat) bool {
+	w := s.workers[h.Worker]
+	return s.configuredPools[h.Pool] || (w != nil && w.incarnation == h.Incarnation && w.pool == h.Pool)
+}
+
 // confirmWorker notes whether the worker is known to be there: its heartbeat came after
 // the pause that the first reply in this term asked for, so that it was sent after it.
 func (s *Scheduler[P, H]) confirmWorker(w *worker, h Heartbeat, now clock.Millis) {
--- a/core/state/sched/machinelist.go
+++ b/core/state/sched/machinelist.go
@@ -63,7 +63,9 @@
 
 // updateStandby updates the powered-off machines and the size of the largest
 // machine from a list, and returns the machines in it. A machine that an
-// incomplete list lacks stays as it was.
+// incomplete list lacks stays as it was. An entry whose pool is not configured may have
+// been left by another program, or be older than the configuration: it shows only that
+// the machine may exist.
 func (s *Scheduler[P, H]) updateStandby(list Outcome) map[jobs.MachineID]bool {
 	f := &s.fleet
 	standby := map[jobs.PoolName]bool{}
@@ -76,6 +78,9 @@
 	listed := make(map[jobs.MachineID]bool, len(list.Machines))
 	for _, m := range list.Machines {
 		listed[m.ID] = true
+		if !s.configuredPools[m.Pool] {
+			continue
+		}
 		if f.maxMilliCores.MilliCores < m.Capacity.MilliCores {
 			f.maxMilliCores = m.Capacity
 		}
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -33,8 +33,10 @@
 	pools    map[jobs.PoolName]*pool
 	// poolByQueue maps the configured queues to their pools.
 	poolByQueue map[jobs.QueueName]jobs.PoolName
-	// configVersion is the version of the configuration that poolByQueue and
-	// queueAdvice were built from.
+	// configuredPools holds the pools that the configuration names.
+	configuredPools map[jobs.PoolName]bool
+	// configVersion is the version of the configuration that poolByQueue,
+	// configuredPools and queueAdvice were built from.
 	configVersion uint64
 	// queueAdvice holds the advice policies of the configured queues that have
 	// advice.
@@ -278,8 +280,8 @@
 // PendingOps returns the number of operations that no plan contains yet.
 func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
 
-// readConfig rebuilds poolByQueue and queueAdvice if the configuration has
-// changed.
+// readConfig rebuilds poolByQueue, configuredPools and queueAdvice if the
+// configuration has changed.
 func (s *Scheduler[P, H]) readConfig() {
 	c := &s.State.Config
 	if s.poolByQueue != nil && c.Version == s.configVersion {
@@ -287,6 +289,10 @@
 	}
 	s.configVersion = c.Version
 	s.poolByQueue = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
+	s.configuredPools = make(map[jobs.PoolName]bool, len(c.Pools))
+	for _, p := range c.Pools {
+		s.configuredPools[p.Name] = true
+	}
 	s.queueAdvice = map[jobs.QueueName]jobs.AdvicePolicy{}
 	for _, q := range c.Queues {
 		s.poolByQueue[q.Name] = q.Pool
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -100,6 +100,7 @@
 	registerCounters(r, []counter{
 		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
 		{"heartbeats-late", count(func(n runner.Counts) int64 { return n.StaleHeartbeats })},
+		{"heartbeats-unknown-pool", count(func(n runner.Counts) int64 { return n.UnknownPoolHeartbeats })},
 		{"heartbeats-renewed-alone", count(func(n runner.Counts) int64 { return n.BareRenewals })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
 		{"job-calls-refused", count(func(n runner.Counts) int64 { return n.OverloadRefusals })},
