Replace a follower as a voter before a planned stop

Cause: only a stopped leader hands its vote to a standby. A follower that is stopped keeps its vote until it has been silent for an election timeout, so that one more lost disk in that time leaves one of three votes.

Change: a follower that is stopped asks the leader for its replacement (raft.MsgLeave, repeated at each tick) and exits once it has no vote, after 2 s at the latest; without a standby in its list it exits at once. The leader prefers other members to one that leaves, as it does for a silent one; the note lapses after an election timeout, because the process may start again. Leave of a leader is answered once it has no vote, not once it no longer leads. Line member-left in place of leader-left.

Why it works: the joint change needs a majority of the voters before and after, who are all up; after it the lost disk is one of three votes.

The simulation of lost machines no longer counts a machine that is taken away as lost for contactMs.

--- a/core/coord/group/calls.go
+++ b/core/coord/group/calls.go
@@ -163,9 +163,9 @@
 	return a.status.Members, err
 }
 
-// Leave makes a standby a voter in place of this member, if it leads, and returns nil
-// once it no longer leads. The error has KindInvalid if no standby can take its place, or
-// if another membership change is in progress.
+// Leave makes a standby a voter in place of this member, and returns nil once this member
+// has no vote. The error has KindInvalid if no standby can take its place or, on the
+// leader, if another membership change is in progress.
 func (g *Group[S, C]) Leave(ctx context.Context) error {
 	_, err := g.call(ctx, input{kind: inputLeave, op: "leave"}, KindOutcomeUnknown)
 	return err
--- a/core/coord/group/group.go
+++ b/core/coord/group/group.go
@@ -94,7 +94,7 @@
 	lastReadContext  uint64
 	// pendingJoins holds the calls of Join that wait for their membership changes.
 	pendingJoins []input
-	// pendingLeaves holds the calls of Leave that wait for the end of the leadership.
+	// pendingLeaves holds the calls of Leave that wait until this member has no vote.
 	pendingLeaves []input
 	watchers      []watcher
 	observed      observedState
--- a/core/coord/group/group_test.go
+++ b/core/coord/group/group_test.go
@@ -391,6 +391,34 @@
 	assert.DeepEqual(t, c.voters(c.leader(want...)), want)
 }
 
+// TestFollowerLeaves guards against a planned stop of a follower that leaves the group with
+// one voter fewer until the leader notices its silence, and against a follower that waits
+// although there is no standby.
+func TestFollowerLeaves(t *testing.T) {
+	c := newCluster(t, 3)
+	lead := c.leader(1, 2, 3)
+	c.awaitOutcome(c.propose(lead, contractChange("a", "")))
+	follower, other := others(lead)[0], others(lead)[1]
+	kind, _ := kindOf(c.group(follower).Leave(t.Context()))
+	assert.Equal(t, kind, KindInvalid)
+
+	joined := c.addStandby(lead)
+	c.until("the standby has caught up", func() bool {
+		return slices.ContainsFunc(c.status(lead).Peers, func(p raft.PeerStatus) bool { return p.Member.ID == 4 && p.CaughtUp })
+	})
+	c.until("the join is answered", func() bool { return len(joined) == 1 })
+	assert.NilError(t, <-joined)
+	left := make(chan error, 1)
+	go func() { left <- c.group(follower).Leave(context.Background()) }()
+	c.until("the follower has left", func() bool { return len(left) == 1 })
+	assert.NilError(t, <-left)
+	assert.Equal(t, c.status(lead).Role, raft.RoleLeader)
+	want := []raft.MemberID{lead, other, 4}
+	slices.Sort(want)
+	assert.DeepEqual(t, c.voters(lead), want)
+	assert.NilError(t, c.group(follower).Leave(t.Context()), "a standby may stop at once")
+}
+
 // TestCorrupt guards against a member that skips a committed entry that it
 // cannot decode, so that its state diverges from that of the others.
 func TestCorrupt(t *testing.T) {
--- a/core/coord/group/handle.go
+++ b/core/coord/group/handle.go
@@ -116,6 +116,7 @@
 		g.node.Tick(now)
 		g.silent = silentMembers(g.node.Peers())
 		g.reconcileMembers()
+		g.repeatLeaves()
 		return
 	}
 	if now >= g.retryAt {
--- a/core/coord/group/output.go
+++ b/core/coord/group/output.go
@@ -19,6 +19,7 @@
 		g.perform(&out)
 	}
 	g.snapshot()
+	g.answerLeaves()
 	g.fireWatchers()
 	g.observeChanges()
 }
@@ -158,7 +159,6 @@
 	led := g.observed.role == raft.RoleLeader
 	if led && (v.role != raft.RoleLeader || v.term != g.observed.term) {
 		g.failPending("the member lost the leadership")
-		g.answerLeaves()
 	}
 	g.observed, g.observedSilent = v, g.silent
 	if g.cfg.Observe != nil {
--- a/core/state/raft/fleet_test.go
+++ b/core/state/raft/fleet_test.go
@@ -207,12 +207,14 @@
 			p.countsUntil = f.now + f.catchUp
 			f.disturbance()
 		}
+		if p.retiring != nil && f.now >= p.retireAt-leaveTime && f.now%reconcileInterval == 0 {
+			f.leave(p.retiring)
+		}
+		// A machine that is taken away stops counting once its successor has had the time
+		// to catch up.
 		if p.retiring != nil && f.now >= p.retireAt {
 			f.remove(p.retiring)
 			p.retiring = nil
-			// The page doesn't say when a machine that is taken away after its successor
-			// has caught up stops counting. Nobody can know of the loss before contactMs.
-			p.countsUntil = max(p.countsUntil, f.now+contactTime)
 			f.disturbance()
 		}
 	}
--- a/core/state/raft/fuzz_test.go
+++ b/core/state/raft/fuzz_test.go
@@ -38,7 +38,7 @@
 // entries, as the decoder guarantees.
 func (r *byteReader) message() Message {
 	m := Message{
-		Kind: MessageKind(r.byte() % byte(MsgSnapshotReply+1)), From: MemberID(r.byte()%3 + 1), To: 1, Term: r.number(), Index: r.number(), LogTerm: r.number(),
+		Kind: MessageKind(r.byte() % byte(MsgLeave+1)), From: MemberID(r.byte()%3 + 1), To: 1, Term: r.number(), Index: r.number(), LogTerm: r.number(),
 		Commit: r.number(), Reject: r.byte()%2 == 1, Hint: r.number(), HeartbeatRound: r.number(), Offset: r.number(), Last: r.byte()%2 == 1,
 	}
 	first := r.number()
--- a/core/state/raft/node.go
+++ b/core/state/raft/node.go
@@ -298,6 +298,8 @@
 		n.onHeartbeatReply(m, p)
 	case MsgSnapshotReply:
 		n.onSnapshotReply(m, p)
+	case MsgLeave:
+		n.onLeave(p)
 	}
 }
 
--- a/core/state/raft/replication.go
+++ b/core/state/raft/replication.go
@@ -47,7 +47,10 @@
 	lastContact clock.Millis
 	// ackedRound is the last heartbeat round that the member acknowledged.
 	ackedRound uint64
-	outgoing   outgoingSnapshot
+	// leavesUntil is the time until which the member counts as about to stop; see
+	// onLeave.
+	leavesUntil clock.Millis
+	outgoing    outgoingSnapshot
 }
 
 // becomeProbe changes to stateProbe. The next append starts at next, or after
--- a/core/state/raft/types.go
+++ b/core/state/raft/types.go
@@ -88,6 +88,9 @@
 	// MsgSnapshot carries one chunk of a snapshot.
 	MsgSnapshot
 	MsgSnapshotReply
+	// MsgLeave tells the leader that its sender is about to stop; see
+	// Node.RequestLeave.
+	MsgLeave
 )
 
 // Message is sent from one member to another.
--- a/core/state/raft/voters.go
+++ b/core/state/raft/voters.go
@@ -16,7 +16,7 @@
 type candidate struct {
 	Member
 	// responsive is set for the leader and for members that have replied within the
-	// election timeout and are not replaced.
+	// election timeout, are not replaced and are not about to stop.
 	responsive bool
 	// replaced is set if its process is also listed under a newer ID: the disk with the
 	// older one is lost.
@@ -43,26 +43,13 @@
 	return MemberChange{}, false
 }
 
-// LeaveChange returns the change that makes a standby a voter in place of this member.
-// ok is false if this member does not lead, another change is in progress, or there are
-// fewer than size other members that respond and have caught up. This member leads until
-// the change is committed.
-func (n *Node) LeaveChange(size int) (c MemberChange, ok bool) {
-	if n.role != RoleLeader || !n.mayChangeMembers() {
-		return MemberChange{}, false
-	}
-	others := slices.DeleteFunc(n.candidates(), func(c candidate) bool { return c.ID == n.self || !c.responsive })
-	voters := chooseVoters(others, 0, size)
-	return MemberChange{Kind: SetVoters, Voters: voters}, len(voters) == size
-}
-
 // candidates returns the voters and the standbys that have caught up.
 func (n *Node) candidates() []candidate {
 	var all []candidate
 	for _, m := range n.Members() {
 		if m.Voter || n.caughtUp(m.ID) {
 			replaced := n.replaced(m)
-			all = append(all, candidate{Member: m, responsive: n.recentlyActive(m.ID) && !replaced, replaced: replaced})
+			all = append(all, candidate{Member: m, responsive: n.recentlyActive(m.ID) && !replaced && !n.leaves(m.ID), replaced: replaced})
 		}
 	}
 	return all
--- a/core/state/raft/voters_test.go
+++ b/core/state/raft/voters_test.go
@@ -110,6 +110,50 @@
 	}
 }
 
+// leaveTime is the time before a planned stop in which a machine asks to be replaced as a
+// voter.
+const leaveTime = 300 * clock.Millis(1)
+
+// stopAsPlanned takes a machine away for good after it has asked to be replaced as a
+// voter. While it leads, it makes the change itself.
+func (f *fleet) stopAsPlanned(h *host) {
+	f.stepUntil(leaveTime, func() bool {
+		if f.now%reconcileInterval == 0 {
+			f.leave(h)
+		}
+		return !h.node.Votes()
+	})
+	f.remove(h)
+}
+
+// leave does what a process that is about to stop does at each tick.
+func (f *fleet) leave(h *host) {
+	if c, ok := h.node.LeaveChange(f.size()); ok {
+		_, _, _ = h.node.ChangeMembers(c, f.clockOf(h))
+	}
+	h.node.RequestLeave(f.clockOf(h))
+}
+
+// TestDiskLostAfterPlannedStop guards against the loss of the quorum when a machine is
+// replaced as planned, its successor first, and another machine loses its disk as soon as
+// the old one has stopped.
+func TestDiskLostAfterPlannedStop(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		for seed := range uint64(directedSeeds) {
+			f := newCompleteFleet(t, seed, sites[0])
+			i := slices.IndexFunc(f.places, func(p *place) bool { return (p.current.node.Role() == RoleLeader) == leads })
+			old := f.places[i].current
+			f.start(f.occupy(f.places[i]))
+			f.await(t, f.recovered)
+			f.stopAsPlanned(old)
+			f.wipePlace(f.places[(i+1+int(seed%2))%len(f.places)])
+			f.await(t, f.recovered)
+			f.settle()
+			assert.NilError(t, f.err, "leads %v, seed %d", leads, seed)
+		}
+	}
+}
+
 // TestNewestDiskLost guards against the loss of the quorum when the machine that was added
 // last loses its disk at once after it has had its time to catch up.
 func TestNewestDiskLost(t *testing.T) {
--- a/io/proto/codec/raft.go
+++ b/io/proto/codec/raft.go
@@ -130,7 +130,7 @@
 // are not consecutive.
 func RaftMessageFromWire(w *wirepb.RaftMessage) (raft.Message, error) {
 	const op = "raft message"
-	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.MsgSnapshotReply)
+	kind, err := enumFromWire(op, "kind", w.GetKind(), raft.MsgLeave)
 	if err != nil {
 		return raft.Message{}, err
 	}
--- a/io/trans/roles/group.go
+++ b/io/trans/roles/group.go
@@ -161,13 +161,17 @@
 	}
 }
 
-// leaveTimeout bounds the time for which the stop of the leader waits until a standby
-// votes in its place.
-const leaveTimeout clock.Millis = 300
+// The time for which the stop of a voter waits until a standby votes in its place. A
+// leader waits for less, because it handles no calls meanwhile. A follower may have to
+// wait for a new leader.
+const (
+	leaderLeaveTimeout   clock.Millis = 300
+	followerLeaveTimeout              = 2 * clock.Second
+)
 
-// leaver is the component that, when the process stops while it leads, makes a standby a
-// voter in its place. It must stop before the server for the other control processes,
-// through which the leader receives their replies.
+// leaver is the component that, when the process stops, makes a standby a voter in its
+// place, so that the group can lose another disk at once. It must stop before the server
+// for the other control processes, through which the members exchange their messages.
 type leaver struct {
 	ctrl *Control
 	done chan struct{}
@@ -181,14 +185,16 @@
 	return nil
 }
 
-// Stop replaces this process as a voter if it leads. It must be called at most once.
+// Stop replaces this process as a voter if a standby can take its place. It must be
+// called at most once.
 func (l *leaver) Stop() {
 	defer close(l.done)
-	if _, leads := l.ctrl.member.Leads(); !leads {
-		return
+	timeout := followerLeaveTimeout
+	if _, leads := l.ctrl.member.Leads(); leads {
+		timeout = leaderLeaveTimeout
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), timeout.Duration())
 	defer cancel()
 	err := l.ctrl.member.Leave(ctx)
-	l.ctrl.log.Info("leader-left", "err", err)
+	l.ctrl.log.Info("member-left", "err", err)
 }
--- a/io/trans/roles/member.go
+++ b/io/trans/roles/member.go
@@ -112,8 +112,8 @@
 	return err
 }
 
-// Leave makes a standby a voter in place of this process. It fails unless this process
-// is the leader and there is a standby that can take its place.
+// Leave makes a standby a voter in place of this process. It fails if there is none that
+// can take its place.
 func (m *memberAccess) Leave(ctx context.Context) error {
 	member, err := m.getMember()
 	if err != nil {
