Bound the time for which a wave keeps finite tasks off machines

Cause: machines that come next in a wave get no new finite tasks. Nothing asked whether something else than finite tasks keeps a machine up, and nothing bounded the time.

Change: a machine is cordoned for 2 s at most while ending its finite tasks would not let it go down, and the machines behind it are considered in its place. Finite tasks that have waited for 1.5 s in a pool of which less than half of the processors is in use avoid neither cordoned machines nor those whose maintenance or move has no answer yet.

Why it works: the first rule ends a cordon that helps nothing; the second bounds the wait of finite tasks by 1.5 s and the delay of a reply, whatever the reason of the first.

--- a/core/state/sched/availability.go
+++ b/core/state/sched/availability.go
@@ -16,15 +16,26 @@
 	if w == nil {
 		return true
 	}
+	if !finiteMayEnd && w.hasFinite() {
+		return false
+	}
+	k, n, blocked := s.blockingStep(w)
+	if !blocked {
+		return true
+	}
+	if most := s.State.Jobs[k.job].Steps[k.step].MaxUnavailable; n > most && s.unavailable(s.State.Jobs[k.job], k) < most {
+		s.stopOneTask(w, k, n)
+	}
+	return false
+}
+
+// blockingStep returns a long-running step that keeps the worker's machine up, because too
+// many of its tasks would be unavailable without the n that end with the machine.
+func (s *Scheduler[P, H]) blockingStep(w *worker) (k stepKey, n int, blocked bool) {
 	ending := map[stepKey]int{}
 	records := map[stepKey]*jobs.Record{}
 	for t, r := range w.runs {
-		switch {
-		case !r.step.LongRunning:
-			if !finiteMayEnd {
-				return false
-			}
-		case r.step.MaxUnavailable > 0 && !r.stopping:
+		if r.step.LongRunning && r.step.MaxUnavailable > 0 && !r.stopping {
 			k := stepKeyOf(t)
 			ending[k]++
 			if r.mayServe(s.now, s.settings) {
@@ -34,19 +45,22 @@
 	}
 	for k, rec := range records {
 		n := ending[k]
-		if rec.Status.Final() {
-			continue
-		}
-		unavailable := s.unavailable(rec, k)
-		if unavailable-s.unavailableOn(w, k)+n <= rec.Steps[k.step].MaxUnavailable {
-			continue
+		most := rec.Steps[k.step].MaxUnavailable
+		if !rec.Status.Final() && s.unavailable(rec, k)-s.unavailableOn(w, k)+n > most {
+			return k, n, true
 		}
-		if most := rec.Steps[k.step].MaxUnavailable; n > most && unavailable < most {
-			s.stopOneTask(w, k, n)
+	}
+	return stepKey{}, 0, false
+}
+
+// hasFinite reports whether the worker runs a finite task.
+func (w *worker) hasFinite() bool {
+	for _, r := range w.runs {
+		if !r.step.LongRunning {
+			return true
 		}
-		return false
 	}
-	return true
+	return false
 }
 
 // stopOneTask stops one of the n tasks of a long-running step on a worker, so
--- a/core/state/sched/exclusion.go
+++ b/core/state/sched/exclusion.go
@@ -8,20 +8,12 @@
 // acceptsGroup reports whether a worker accepts new tasks of a group and has the
 // label that the group requires.
 func (s *Scheduler[P, H]) acceptsGroup(w *worker, g *taskGroup, now clock.Millis) bool {
-	if w.draining || w.goingDown || w.vacating || w.quarantinedFor(g, now) || w.cordonedFor(g, now) {
+	if w.draining || w.vacating || w.quarantinedFor(g, now) || s.disruptionExcludes(w, g, now) {
 		return false
 	}
 	return w.hasLabel(g)
 }
 
-// cordonedFor reports whether a cordon keeps the tasks of a group off the worker. It
-// yields to a long-running task that no other worker has taken. Such a task may be the
-// one that keeps another machine from its maintenance, and it would wait for as long as
-// something keeps the cordoned machine up.
-func (w *worker) cordonedFor(g *taskGroup, now clock.Millis) bool {
-	return w.cordoned && !(g.step.LongRunning && now-g.waitingSince > unplacedWaitMillis)
-}
-
 // quarantinedFor reports whether a quarantine keeps the tasks of a group off the worker.
 // It yields to a long-running task that has been away for long and that no other worker
 // has taken: the worker may be sound, and one quarantine after the other, or one after
@@ -66,35 +58,6 @@
 	return false
 }
 
-// updateCordons cordons the workers of the machines that come next in a wave that is
-// not completed, and ends the cordons of all others. An ordered machine is not cordoned:
-// its worker counts as going down, unless it has returned from the maintenance.
-func (s *Scheduler[P, H]) updateCordons() {
-	cordons := map[jobs.MachineID]bool{}
-	for _, v := range s.waves {
-		if v.isComplete() {
-			continue
-		}
-		for m, isNext := range v.next {
-			if _, ordered := v.down[m]; isNext && !ordered && !v.Started[m] {
-				cordons[m] = true
-			}
-		}
-	}
-	for m := range s.cordons {
-		if w := s.workerByMachine[m]; w != nil && !cordons[m] {
-			w.cordoned = false
-			s.dirtyPools[s.pool(w.pool)] = true
-		}
-	}
-	for m := range cordons {
-		if w := s.workerByMachine[m]; w != nil {
-			w.cordoned = true
-		}
-	}
-	s.cordons = cordons
-}
-
 // maySilentlyBeDown reports whether an order for a worker's machine may have ended the
 // worker without its being known: the worker has sent no heartbeat for liveMillis while an
 // order, such as one of an earlier leader, may have been carried out, or none since such
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -45,7 +45,7 @@
 	}
 	s.fleet.loadsNotedAt = now
 	for _, load := range loads {
-		withLongRunning, quarantined := 0, 0
+		withLongRunning, quarantined, cordoned := 0, 0, 0
 		for _, w := range s.workers {
 			if w.pool == load.name && w.hasLongRunning() {
 				withLongRunning++
@@ -53,10 +53,13 @@
 			if w.pool == load.name && w.quarantinedUntil > now {
 				quarantined++
 			}
+			if w.pool == load.name && w.cordoned {
+				cordoned++
+			}
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
-			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d quarantined, %d core-ms of work waiting, %d assigned jobs that no worker has reported",
-			load.name, load.machines, load.needed, len(load.idle), withLongRunning, quarantined, s.pool(load.name).waitingMilliCoreMillis()/1000, s.assignedPending(load.name)))
+			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d quarantined, %d cordoned, %d core-ms of work waiting, %d assigned jobs that no worker has reported",
+			load.name, load.machines, load.needed, len(load.idle), withLongRunning, quarantined, cordoned, s.pool(load.name).waitingMilliCoreMillis()/1000, s.assignedPending(load.name)))
 	}
 }
 
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -127,6 +127,9 @@
 	// arrivalRate is the moving average of the work that arrives per
 	// millisecond, in milli-cores, over about half a second.
 	arrivalRate float64
+	// mostlyIdle caches isMostlyIdle at the time idleCheckedAt.
+	mostlyIdle    bool
+	idleCheckedAt clock.Millis
 	// history records the results of the pool's workers, by queue.
 	history map[jobs.QueueName]*place.ClassHistory
 }
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -32,6 +32,9 @@
 	// nextOrder holds the earliest time at which the order for a machine may be
 	// repeated.
 	nextOrder map[jobs.MachineID]clock.Millis
+	// blockages holds the machines that can't go down now, whether or not their finite
+	// tasks end, since mayCordon first found so.
+	blockages map[jobs.MachineID]blockage
 	// pending holds the machines whose order has no answer yet.
 	pending map[jobs.MachineID]bool
 	// refusals counts the refused orders for a machine since the last list of
@@ -77,7 +80,7 @@
 func newWave(w *jobs.Wave) *wave {
 	v := &wave{
 		Wave: w, down: map[jobs.MachineID]downtime{}, next: map[jobs.MachineID]bool{}, nextOrder: map[jobs.MachineID]clock.Millis{},
-		pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
+		blockages: map[jobs.MachineID]blockage{}, pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
 	}
 	// Machines whose maintenance an earlier leader ordered may be down now.
 	for m := range w.Ordered {
@@ -181,7 +184,7 @@
 		_, isDown := v.down[m]
 		switch {
 		case v.nextOrder[m] > now || s.beingMoved(m, now):
-			next[m] = v.next[m]
+			next[m] = v.next[m] && s.mayCordon(v, m, w, now)
 		case isDown && len(v.down) > v.MaxDown:
 			// An earlier leader gave orders for more than MaxDown machines,
 			// because some orders were refused. It is unknown which of the
@@ -197,9 +200,9 @@
 			}
 		case toOrder > 0 && s.mayGoDown(w, behind):
 			toOrder--
-			next[m] = true
+			next[m] = s.mayCordon(v, m, w, now)
 			s.orderMaintenance(v, m, w, now)
-		case w != nil && toCordon > 0:
+		case w != nil && toCordon > 0 && s.mayCordon(v, m, w, now):
 			toCordon--
 			next[m] = true
 		}
