--- a/core/state/sched/availability.go
+++ b/core/state/sched/availability.go
@@ -19,19 +19,20 @@
 	if !finiteMayEnd && w.hasFinite() {
 		return false
 	}
-	k, n, blocked := s.blockingStep(w)
-	if !blocked {
+	rec, k, n := s.blockingStep(w)
+	if rec == nil {
 		return true
 	}
-	if most := s.State.Jobs[k.job].Steps[k.step].MaxUnavailable; n > most && s.unavailable(s.State.Jobs[k.job], k) < most {
+	if most := rec.Steps[k.step].MaxUnavailable; n > most && s.unavailable(rec, k) < most {
 		s.stopOneTask(w, k, n)
 	}
 	return false
 }
 
 // blockingStep returns a long-running step that keeps the worker's machine up, because too
-// many of its tasks would be unavailable without the n that end with the machine.
-func (s *Scheduler[P, H]) blockingStep(w *worker) (k stepKey, n int, blocked bool) {
+// many of its tasks would be unavailable without the n that end with the machine. The job
+// is nil if there is none.
+func (s *Scheduler[P, H]) blockingStep(w *worker) (rec *jobs.Record, k stepKey, n int) {
 	ending := map[stepKey]int{}
 	records := map[stepKey]*jobs.Record{}
 	for t, r := range w.runs {
@@ -47,10 +48,10 @@
 		n := ending[k]
 		most := rec.Steps[k.step].MaxUnavailable
 		if !rec.Status.Final() && s.unavailable(rec, k)-s.unavailableOn(w, k)+n > most {
-			return k, n, true
+			return rec, k, n
 		}
 	}
-	return stepKey{}, 0, false
+	return nil, stepKey{}, 0
 }
 
 // hasFinite reports whether the worker runs a finite task.
--- a/core/state/sched/cordon.go
+++ b/core/state/sched/cordon.go
@@ -52,8 +52,8 @@
 	if w == nil {
 		return false
 	}
-	_, _, blocked := s.blockingStep(w)
-	return blocked
+	rec, _, _ := s.blockingStep(w)
+	return rec != nil
 }
 
 // disruptionExcludes reports whether a maintenance or a move of the worker's machine that
