Count a worker as going down while an order for its machine has no answer

Cause: an open order counted only for the incarnation that it was given for.

Change: while an order for a machine has no answer, each worker there counts as going down. The mark is computed anew when another worker joins and when the order is answered.

--- a/core/state/sched/exclusion.go
+++ b/core/state/sched/exclusion.go
@@ -31,7 +31,8 @@
 }
 
 // updateGoingDown updates goingDown of a machine's worker. It is called whenever a
-// downtime or a move of the machine begins or ends.
+// downtime or a move of the machine begins or ends, an order for it is answered, or
+// another worker joins.
 func (s *Scheduler[P, H]) updateGoingDown(m jobs.MachineID) {
 	w := s.workerByMachine[m]
 	if w == nil {
@@ -45,13 +46,14 @@
 }
 
 // hasOpenOrder reports whether a maintenance or a move of the worker's machine is open
-// that was ordered for this incarnation of the worker.
+// that was ordered for this incarnation of the worker, or whether a maintenance order has
+// no answer yet: it may end a worker that joined after it was given.
 func (s *Scheduler[P, H]) hasOpenOrder(w *worker) bool {
 	if move, ok := s.fleet.moves[w.machine]; ok && move.incarnation == w.incarnation {
 		return true
 	}
 	for _, v := range s.waves {
-		if down, ok := v.down[w.machine]; ok && down.orderedFor == w.incarnation {
+		if down, ok := v.down[w.machine]; ok && (v.pending[w.machine] || down.orderedFor == w.incarnation) {
 			return true
 		}
 	}
--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -294,3 +294,18 @@
 	f.advance(clock.Second, "w1", "w2")
 	assert.Equal(t, f.runs("late", "w1")+f.runs("late", "w2"), 0)
 }
+
+// TestOrderInFlightMayEndLaterWorker guards against a machine that goes down while an
+// order without an answer may still end a task of the same step, on a worker that joined
+// after the order was given.
+func TestOrderInFlightMayEndLaterWorker(t *testing.T) {
+	f := newExclusionFixture("a")
+	f.DeclareWave(jobs.Wave{Number: 1, Machines: []jobs.MachineID{"m-w1", "m-w2"}, MaxDown: 2, Deadline: 1000}, f.now)
+	orders := f.advance(200, "w1", "w2")
+	assert.Equal(t, len(orders), 1)
+	ordered := string(orders[0].Machine[len("m-"):])
+	f.heartbeat(ordered, 2, nil)
+	assert.Equal(t, len(f.advance(clock.Second, "w1", "w2")), 0)
+	f.HandleOutcome(orders[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
+	assert.Assert(t, len(f.advance(2*clock.Second, "w1", "w2")) > 0, "the wave does not go on")
+}
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -106,8 +106,9 @@
 	w.seq, w.capacity, w.reported = h.Seq, h.Capacity, true
 	w.heardAt = max(w.heardAt, h.ReceivedAt)
 	delete(s.absences, h.Machine)
-	if h.Machine != "" {
+	if h.Machine != "" && s.workerByMachine[h.Machine] != w {
 		s.workerByMachine[h.Machine] = w
+		s.updateGoingDown(h.Machine)
 	}
 	if h.Draining && !w.draining {
 		w.draining = true
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -275,9 +275,9 @@
 		}
 	}
 	v.down[m] = down
+	v.pending[m] = true
 	s.updateGoingDown(m)
 	s.noteMaintenanceOrder(v, m, w)
-	v.pending[m] = true
 	v.nextOrder[m] = now + maintenanceRetryMillis
 	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMaintain, Wave: v.Number, Machine: m})
 }
@@ -350,6 +350,7 @@
 		return
 	}
 	delete(v.pending, action.Machine)
+	s.updateGoingDown(action.Machine)
 	s.noteFleet(DecisionMaintenanceAnswered, fmt.Sprintf("machine %s of wave %d: %s", action.Machine, action.Wave, outcome))
 	switch outcome.Answer {
 	case AnswerDone:
