Forget the earlier machine of a worker that reports another one

Evidence: TestWorkerOnAnotherMachine failed before the change. No worker of the users' platform changes its machine within an incarnation.

--- a/core/state/sched/exclusion_test.go
+++ b/core/state/sched/exclusion_test.go
@@ -309,3 +309,17 @@
 	f.HandleOutcome(orders[0], Outcome{Answer: AnswerRefusedForNow}, f.now)
 	assert.Assert(t, len(f.advance(2*clock.Second, "w1", "w2")) > 0, "the wave does not go on")
 }
+
+// TestWorkerOnAnotherMachine guards against a worker that is dropped because another one
+// joined on the machine that it has left.
+func TestWorkerOnAnotherMachine(t *testing.T) {
+	f := newFixture(Defaults())
+	report := func(id, machine string) {
+		f.seq++
+		f.Heartbeat(Heartbeat{Worker: jobs.WorkerID(id), Incarnation: 1, Machine: jobs.MachineID(machine), Pool: "p", Seq: f.seq, ReceivedAt: f.now}, f.now)
+	}
+	report("w1", "m-1")
+	report("w1", "m-2")
+	report("w2", "m-1")
+	assert.Equal(t, len(f.workers), 2)
+}
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -100,6 +100,9 @@
 		delete(s.pool(w.pool).available, w.id)
 		delete(s.pool(w.pool).workers, w.id)
 	}
+	if w.machine != h.Machine && s.workerByMachine[w.machine] == w {
+		delete(s.workerByMachine, w.machine)
+	}
 	w.machine, w.pool, w.zone, w.labels = h.Machine, h.Pool, h.Zone, h.Labels
 	w.rack = rackOf(h.Labels)
 	s.pool(w.pool).workers[w.id] = w
