--- a/core/state/raft/voters_test.go
+++ b/core/state/raft/voters_test.go
@@ -258,6 +258,33 @@
 	}
 }
 
+// TestJointElectionNeedsBothMajorities guards against a candidate that is elected by the
+// majority of one of the two lists, while the other one elects another leader.
+func TestJointElectionNeedsBothMajorities(t *testing.T) {
+	joint := []Member{
+		{ID: 1, Voter: true, OldVoter: true}, {ID: 2, OldVoter: true}, {ID: 3, OldVoter: true}, {ID: 4, Voter: true}, {ID: 5, Voter: true},
+	}
+	for _, c := range []struct {
+		voters  []MemberID
+		elected bool
+	}{
+		{[]MemberID{4, 5}, false},
+		{[]MemberID{2, 3}, false},
+		{[]MemberID{2, 4}, true},
+	} {
+		n := New(Config{ElectionTimeout: 100, HeartbeatInterval: 10}, StoredState{
+			Self: joint[0], Hard: HardState{Term: 1, Commit: 1}, Snapshot: SnapshotMeta{Index: 1, Term: 1, Members: joint},
+		}, 0)
+		n.Tick(500)
+		for _, kind := range []MessageKind{MsgPreVoteReply, MsgVoteReply} {
+			for _, id := range c.voters {
+				assert.NilError(t, n.Step(Message{Kind: kind, From: id, To: 1, Term: 2}, 500))
+			}
+		}
+		assert.Equal(t, n.Role() == RoleLeader, c.elected, "votes of %v", c.voters)
+	}
+}
+
 // TestReplacedVoterReturns guards against a voter that was cut off and replaced by a
 // standby, and that deposes the leader or votes by its old list when it returns.
 func TestReplacedVoterReturns(t *testing.T) {
