Let a gang leave busy racks while its pool is mostly idle

Cause: such a gang waits for room on one rack for as long as one of its tasks takes, whatever else is free.

Evidence: TestGangLeavesBusyRacks failed before the change.

Change: in a pool of which less than half of the processors is in use it waits for 1.5 s at most, the bound of other finite work in such a pool.

--- a/core/state/sched/cordon.go
+++ b/core/state/sched/cordon.go
@@ -15,7 +15,7 @@
 	// platform is assumed to refuse the next one as well.
 	refusalMemoryMillis = clock.Second
 	// maxExcludedWaitMillis is how long finite tasks wait, in a pool that is mostly idle,
-	// for a worker whose machine is not to go down.
+	// for a worker whose machine is not to go down, or for room on one rack.
 	maxExcludedWaitMillis = 1500 * clock.Millis(1)
 )
 
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -37,7 +37,7 @@
 // if not all tasks can be placed or the gang should wait. A gang with SameRack
 // works more slowly on several racks. If a rack is large enough for it but has
 // too few free resources, the gang waits for at most the estimate of one of its
-// tasks.
+// tasks, and not for longer than maxExcludedWaitMillis while the pool is mostly idle.
 func (s *Scheduler[P, H]) chooseGangWorkers(p *pool, g *taskGroup, now clock.Millis) []*worker {
 	if !g.step.SameRack {
 		return s.chooseFromRack(p, g, "", now)
@@ -47,8 +47,12 @@
 			return workers
 		}
 	}
-	if _, inBestRack := s.gangCapacity(p, g, now); inBestRack >= g.step.TaskCount && now-g.waitingSince < g.step.Estimate {
-		return nil
+	waited := now - g.waitingSince
+	mayWait := waited < g.step.Estimate && (waited <= maxExcludedWaitMillis || !s.isMostlyIdle(p, now))
+	if mayWait {
+		if _, inBestRack := s.gangCapacity(p, g, now); inBestRack >= g.step.TaskCount {
+			return nil
+		}
 	}
 	return s.chooseFromRack(p, g, "", now)
 }
--- a/core/state/sched/gang_test.go
+++ b/core/state/sched/gang_test.go
@@ -306,3 +306,38 @@
 	}
 	assert.Equal(t, (&worker{}).fitCount(jobs.Resources{}, &taskGroup{step: &jobs.Step{TaskCount: 3, MaxPerWorker: 2}}), 2)
 }
+
+// TestGangLeavesBusyRacks guards against a gang that waits for room on one rack, for as
+// long as one of its tasks takes, while most of the pool is idle.
+func TestGangLeavesBusyRacks(t *testing.T) {
+	f := newFixture(Defaults())
+	heartbeat := func() {
+		for n := range 8 {
+			f.seq++
+			h := Heartbeat{
+				Worker: jobs.WorkerID(fmt.Sprint("w", n)), Incarnation: 1, Machine: jobs.MachineID(fmt.Sprint("m", n)), Pool: "p",
+				Labels: []string{"a", fmt.Sprint("r-", n%4)}, Seq: f.seq, Capacity: jobs.Resources{MilliCores: 4000, MemoryMiB: 8000}, ReceivedAt: f.now,
+			}
+			if w := f.workers[h.Worker]; w != nil {
+				for _, id := range sortedTaskIDs(w.runs) {
+					h.Running = append(h.Running, RunStatus{Task: id, Run: w.runs[id].number, Percent: 1})
+				}
+			}
+			f.Heartbeat(h, f.now)
+		}
+	}
+	// One worker of each rack has room for no task of the gang.
+	for n := range 4 {
+		f.submit(fmt.Sprint("busy", n), jobs.Step{
+			TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 5000}, Estimate: 90_000, DataRack: fmt.Sprint("r-", n),
+		})
+	}
+	heartbeat()
+	f.Pass(f.now)
+	f.submit("g", jobs.Step{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 4000}, Estimate: 60_000, MaxPerWorker: 1, Gang: true, SameRack: true})
+	for end := f.now + maxFiniteWaitMillis; f.now < end; f.now += 200 {
+		heartbeat()
+		f.Pass(f.now)
+	}
+	assert.Equal(t, f.State.Jobs["g"].Task(jobs.TaskID{Job: "g"}).Phase, jobs.PhaseAssigned)
+}
