Answer "unknown" to a submission whose queue went after a lost answer

What callers saw: the answer to a submission is lost, the operator removes the queue, and the entry process, which asks again, answers 404.

Cause: an answer "no queue" was taken as true of all attempts, unlike "unavailable" and "overloaded".

TestRefusalAfterUnknownOutcome and TestOverloadedLeaderIsNotAskedAgain, with a case for the queue each, failed before the change.

Change: CallKind.RefusedBy says which answers refuse a call; both places that ask again use it. Other kinds of call still get 404 for a queue that is not there.

--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -129,6 +129,19 @@
 	return false
 }
 
+// RefusedBy reports whether an answer to a call says that it was not executed. That is
+// true of the last attempt alone: an earlier one may have reached a queue that has been
+// removed since.
+func (k CallKind) RefusedBy(a AnswerKind) bool {
+	switch a {
+	case AnswerUnavailable, AnswerOverloaded:
+		return true
+	case AnswerNoQueue:
+		return k == CallSubmit
+	}
+	return false
+}
+
 // Call is a request of a submitter or an operator.
 type Call struct {
 	Kind CallKind
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -71,7 +71,7 @@
 		mayHaveRun = mayHaveRun || err != nil
 		return err
 	})
-	if mayHaveRun && (a.Kind == runner.AnswerUnavailable || a.Kind == runner.AnswerOverloaded) {
+	if mayHaveRun && c.Kind.RefusedBy(a.Kind) {
 		// The refusal is true of the last attempt alone.
 		a.Kind, a.Reason = runner.AnswerOutcomeUnknown, "an earlier attempt may have been executed; the last one was not: "+a.Reason
 	}
--- a/io/trans/peers/work_test.go
+++ b/io/trans/peers/work_test.go
@@ -137,7 +137,8 @@
 // run by the second member asked, although the answer of the first was lost.
 func TestRefusalAfterUnknownOutcome(t *testing.T) {
 	fails := serveWork(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
-	for _, kind := range []runner.AnswerKind{runner.AnswerUnavailable, runner.AnswerOverloaded} {
+	// The queue may have been removed between the two attempts.
+	for _, kind := range []runner.AnswerKind{runner.AnswerUnavailable, runner.AnswerOverloaded, runner.AnswerNoQueue} {
 		s := WorkServer[refusingWork]{Runner: refusingWork{kind}, Stamps: zeroStamps{}, RequireLeader: func() error { return nil }}
 		refuses := serveWork(t, wirepb.NewWorkServer(s))
 		a, err := callWorker(refuses)
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -127,6 +127,9 @@
 			}
 			delay = a.RetryAfter
 		default:
+			if uncertain && c.Kind.RefusedBy(a.Kind) {
+				a.Kind = runner.AnswerOutcomeUnknown
+			}
 			return a
 		}
 		if ctx.Err() != nil || (!uncertain && s.clock.Now() >= refuseAt) {
--- a/io/trans/roles/submit_test.go
+++ b/io/trans/roles/submit_test.go
@@ -58,6 +58,7 @@
 // whose answer was lost.
 func TestOverloadedLeaderIsNotAskedAgain(t *testing.T) {
 	const overloaded, unknown, unavailable, done = runner.AnswerOverloaded, runner.AnswerOutcomeUnknown, runner.AnswerUnavailable, runner.AnswerDone
+	const noQueue = runner.AnswerNoQueue
 	for _, c := range []struct {
 		name    string
 		answers []runner.AnswerKind
@@ -67,6 +68,8 @@
 		{"overloaded", []runner.AnswerKind{overloaded, done}, overloaded, 1},
 		{"unavailable, then overloaded", []runner.AnswerKind{unavailable, overloaded, done}, overloaded, 2},
 		{"answer lost, then overloaded", []runner.AnswerKind{unknown, overloaded, done}, done, 3},
+		{"no queue", []runner.AnswerKind{noQueue}, noQueue, 1},
+		{"answer lost, then no queue", []runner.AnswerKind{unknown, noQueue}, unknown, 3},
 		{"answer lost, then overloaded for good", []runner.AnswerKind{unknown, overloaded}, unknown, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
