--- a/io/trans/peers/traffic.go
+++ b/io/trans/peers/traffic.go
@@ -23,21 +23,13 @@
 // accepts.
 func (t *Traffic) Listener(l net.Listener) net.Listener { return &countingListener{Listener: l, t: t} }
 
-// dial returns a dial function that counts the bytes of its connections. They are reset
-// when they are closed: after an ordinary close, the kernel would still deliver a call
-// that its caller has given up on, seconds later, when a network partition heals.
+// dial returns a dial function that counts the bytes of its connections.
 func (t *Traffic) dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := c.(*net.TCPConn); ok {
-			if err := tcp.SetLinger(0); err != nil {
-				_ = c.Close()
-				return nil, err
-			}
-		}
 		return &countingConn{Conn: c, t: t}, nil
 	}
 }
