Let an acknowledged cancel hold against a submission that comes later

What callers saw: a client hands a job in at an entry process that is being cut off, leaves, and cancels elsewhere, answered with 410.

Cause: the leader kept nothing of the cancel of a job that it did not know, and could not tell a submission that had been held up from a new one. The kernel delivers an attempt that was given up on when the cut ends.

The entry process had ended its only attempt ("context canceled") 4.0 s before the leader accepted the job; the leader was the same throughout and committed nothing of the cancel.

Change: the cancel of a job that is unknown or ended over 10 s ago leaves a tombstone in the replicated state for 3 minutes, committed before the answer. A submission that finds one is stored with its cancel in one change. At most 65,536 are kept; further ones are refused with 503. A submission carries the latest time of the leader that its entry process knew, and one of an unknown job is refused as stale when that is over 60 s ago: so a tombstone outlives each submission that it has to stop, whatever the other clocks say. IDs are limited to 256 bytes.

Why it works: the order of the two calls no longer matters. It holds for a cut, a stopped entry process or leader, a ring, a retry and the next leader, because nothing depends on how the submission was delayed. Resetting the connections covers the first alone.

--- a/core/coord/runner/fake_test.go
+++ b/core/coord/runner/fake_test.go
@@ -43,6 +43,8 @@
 	// changes counts the applied changes.
 	changes int
 	reads   int
+	// clock gives the time of the changes that are applied.
+	clock clock.Clock
 }
 
 func newFakeGroup() *fakeGroup { return &fakeGroup{state: fleet.New(), term: 2, leads: true} }
@@ -90,6 +92,7 @@
 
 func (g *fakeGroup) apply(c model.Change) model.Result {
 	g.changes++
+	c.Time = g.clock.Now()
 	return g.state.Apply(model.Version(g.changes), c)
 }
 
@@ -144,6 +147,7 @@
 // startAt is start with the given clock.
 func startAt(t *testing.T, g *fakeGroup, clk clock.Clock) *testRunner {
 	t.Helper()
+	g.set(func() { g.clock = clk })
 	settings := sched.Defaults()
 	settings.BacklogTargetMillis = 0
 	r := New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
@@ -191,7 +195,7 @@
 }
 
 func submit(path string) Call {
-	return Call{Kind: CallSubmit, Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
+	return Call{Kind: CallSubmit, IssuedAt: clock.Real().Now(), Host: "h", Path: path, Job: jobs.Job{Spec: "s", Steps: []jobs.Step{
 		{TaskCount: 2, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 100}, Estimate: 500},
 	}}}
 }
--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -81,6 +81,7 @@
 	}
 	ops := r.scheduler.PendingOps()
 	a := r.decideCall(c, now)
+	a.LeaderTime = r.leaderTime(now)
 	// A submission that adds no operation repeats an earlier one, whose operation
 	// may be part of an earlier batch.
 	uncertain := c.Kind == CallSubmit && r.scheduler.PendingOps() == ops
@@ -97,6 +98,12 @@
 	return true
 }
 
+// leaderTime returns the time by which the age of submissions is measured. A later leader
+// with another clock does not fall behind the times of the operations.
+func (r *Runner[G, M, O, J]) leaderTime(now clock.Millis) clock.Millis {
+	return max(now, r.scheduler.State.Time)
+}
+
 // isKnownSubmission reports whether a call submits a job that was accepted earlier. Its
 // submitter has lost the answer, and a refusal would say that the job never runs.
 func (r *Runner[G, M, O, J]) isKnownSubmission(c *Call) bool {
@@ -180,25 +187,47 @@
 		return Answer{Count: r.scheduler.PendingJobs(q.Name)}
 	case id == "":
 		return Answer{Kind: AnswerInvalid, Reason: "the path names no job"}
+	case c.Kind == CallSubmit && len(id) > jobs.MaxIDBytes:
+		return Answer{Kind: AnswerInvalid, Reason: fmt.Sprintf("the ID of the job has more than %d bytes", jobs.MaxIDBytes)}
 	case c.Kind == CallSubmit:
 		return r.submit(c, q, id, now)
+	case c.Kind == CallCancel && len(id) <= jobs.MaxIDBytes && !r.scheduler.Cancel(id, now):
+		return overloaded(c, "too many cancels of unknown jobs are remembered")
 	case rec == nil:
 		return Answer{Kind: AnswerNoJob, Reason: "no such job"}
 	case c.Kind == CallExplain:
 		report, _ := r.scheduler.Explain(id, now)
 		return Answer{Status: rec.Status, Report: &report}
-	case c.Kind == CallCancel:
-		r.scheduler.Cancel(id, now)
 	}
 	return Answer{Status: rec.Status}
 }
 
+// submit submits a job. A job that is not known is refused if its submission is older
+// than maxSubmissionAge: an acknowledged cancel of it may be forgotten.
 func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, id jobs.ID, now clock.Millis) Answer {
+	known := r.scheduler.State.Jobs[id] != nil
+	if age := r.leaderTime(now) - c.IssuedAt; c.IssuedAt != 0 && !known && age > lateSubmissionAge {
+		r.noteLateSubmission(id, age)
+		if age > maxSubmissionAge {
+			r.counts.StaleSubmissions++
+			return Answer{Kind: AnswerStale, RetryAfter: retryAfter, Reason: fmt.Sprintf("the submission carries the leader's time of %d ms ago", age)}
+		}
+	}
 	j := c.Job
 	j.ID, j.Queue, j.Pool = id, q.Name, q.Pool
 	j.Priority, j.MaxAttempts, j.Target, j.StretchPermille = q.Priority, q.MaxAttempts, q.Target, q.StretchPermille
 	r.scheduler.Submit(j, now)
-	return Answer{Status: r.scheduler.State.Jobs[id].Status}
+	status := r.scheduler.State.Jobs[id].Status
+	if !known && status == jobs.StatusCancelled {
+		r.counts.CancelledSubmissions++
+	}
+	return Answer{Status: status}
+}
+
+func (r *Runner[G, M, O, J]) noteLateSubmission(id jobs.ID, age clock.Millis) {
+	if r.notes != nil {
+		r.notes([]sched.Note{{Decision: sched.DecisionSubmissionLate, Task: jobs.TaskID{Job: id}, Reason: fmt.Sprintf("it carries the leader's time of %d ms ago", age)}})
+	}
 }
 
 // findQueue returns the queue of the host with the longest prefix of the path, and
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -26,6 +26,12 @@
 	// that gets no answer for twice as long sends the call again, which adds to the
 	// load.
 	maxCallWait clock.Millis = 300
+	// maxSubmissionAge is the age above which a submission is refused. Cancels are
+	// remembered for longer (jobs.Retention): a cancel may be acknowledged before an
+	// entry process reads the submission, and the clocks of successive leaders differ.
+	maxSubmissionAge = clock.Minute
+	// lateSubmissionAge is the age above which the receipt of a submission is logged.
+	lateSubmissionAge = 2 * clock.Second
 	// commitTimeout is the limit for one commit, load or confirmation of the
 	// leadership. A leader that can't commit for this long has lost its quorum.
 	commitTimeout = 4 * clock.Second
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -134,7 +134,7 @@
 // removed since.
 func (k CallKind) RefusedBy(a AnswerKind) bool {
 	switch a {
-	case AnswerUnavailable, AnswerOverloaded:
+	case AnswerUnavailable, AnswerOverloaded, AnswerStale:
 		return true
 	case AnswerNoQueue:
 		return k == CallSubmit
@@ -145,6 +145,10 @@
 // Call is a request of a submitter or an operator.
 type Call struct {
 	Kind CallKind
+	// IssuedAt is the latest time of the leader that was known to the process which
+	// received a submission, when it received it; 0 for none. A submission that is
+	// held up is refused once it is older than a cancel is remembered for.
+	IssuedAt clock.Millis
 	// Host and Path select the queue; the part of Path after the queue's prefix
 	// is the ID of the job.
 	Host string
@@ -171,8 +175,8 @@
 	AnswerNoQueue
 	AnswerNoJob
 	AnswerNoWave
-	// AnswerInvalid means that the call needs the ID of a job and has none, or
-	// that it declares other machines under the number of a known wave.
+	// AnswerInvalid means that the call needs the ID of a job and has none or one that
+	// is too long, or that it declares other machines under the number of a known wave.
 	AnswerInvalid
 	// AnswerUnavailable means that nothing was done and nothing will be done;
 	// the caller may retry after RetryAfter.
@@ -182,13 +186,16 @@
 	// AnswerOverloaded is like AnswerUnavailable, but the leader has more calls than
 	// it can handle: the call must not be repeated before RetryAfter.
 	AnswerOverloaded
+	// AnswerStale is like AnswerUnavailable, but the call was issued too long ago:
+	// only a new call, with a later IssuedAt, can succeed.
+	AnswerStale
 
 	// LastAnswerKind is the highest kind of answer.
-	LastAnswerKind = AnswerOverloaded
+	LastAnswerKind = AnswerStale
 )
 
 var answerNames = [...]string{
-	"done", "no-queue", "no-job", "no-wave", "invalid", "unavailable", "unknown", "overloaded",
+	"done", "no-queue", "no-job", "no-wave", "invalid", "unavailable", "unknown", "overloaded", "stale",
 }
 
 // String returns the name of the kind in logs and metrics.
@@ -219,8 +226,11 @@
 	// WaveCompleted is set for CallGetWave.
 	WaveCompleted bool
 	// RetryAfter is the delay after which a caller may retry; set for
-	// AnswerUnavailable and AnswerOverloaded.
+	// AnswerUnavailable, AnswerOverloaded and AnswerStale.
 	RetryAfter clock.Millis
+	// LeaderTime is the leader's time when it handled the call, for IssuedAt of later
+	// calls; 0 if the call was not handled.
+	LeaderTime clock.Millis
 	// Reason says why the call was not carried out; empty for AnswerDone.
 	Reason string
 }
@@ -249,6 +259,11 @@
 	// OverloadRefusals counts the calls that were refused because they had waited for
 	// too long. Calls includes them.
 	OverloadRefusals int64
+	// StaleSubmissions counts the submissions that were refused because they had been
+	// issued too long ago, and CancelledSubmissions those that came after their
+	// cancel. Calls includes them.
+	StaleSubmissions     int64
+	CancelledSubmissions int64
 	// Batches counts the commits that were started, including loads and
 	// confirmations of the leadership. Operations counts the operations in them.
 	Batches    int64
--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -10,6 +10,8 @@
 func (s *State) Clone() *State {
 	c := *s
 	c.EndedJobs = slices.Clone(s.EndedJobs)
+	c.Tombstones = slices.Clone(s.Tombstones)
+	c.CancelledAt = maps.Clone(s.CancelledAt)
 	c.Jobs = make(map[ID]*Record, len(s.Jobs))
 	for id, r := range s.Jobs {
 		c.Jobs[id] = r.clone()
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -11,6 +11,11 @@
 // group is blocked while a snapshot is made.
 const Retention = 3 * clock.Minute
 
+// renewalAge is the age above which the cancel of an ended or unknown job is stored
+// again. The latest acknowledged cancel is remembered for at least Retention less
+// renewalAge.
+const renewalAge = 10 * clock.Second
+
 // State is the replicated state of submitted work.
 type State struct {
 	// Time is the latest time passed to Apply; it never decreases.
@@ -25,15 +30,27 @@
 	// EndedJobs lists the jobs in Jobs that have a final status, in the order
 	// in which they ended.
 	EndedJobs []ID
+	// Tombstones lists the remembered cancels, ordered by time. A job may have
+	// several.
+	Tombstones []Tombstone
+	// CancelledAt holds the time of the latest entry in Tombstones of each job.
+	CancelledAt map[ID]clock.Millis
+}
+
+// Tombstone remembers the cancel of a job that was unknown or had ended, for Retention.
+// A submission of the job that arrives later is not to be run.
+type Tombstone struct {
+	Job ID
+	At  clock.Millis
 }
 
 // New returns the empty state.
 func New() *State {
-	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}}
+	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}, CancelledAt: map[ID]clock.Millis{}}
 }
 
 // Apply applies a batch of operations made at time now, and then removes the
-// jobs whose retention has ended. An operation that does not match the state
+// jobs and tombstones whose retention has ended. An operation that does not match the state
 // has no effect, for example the submission of a known ID, the end of a run
 // that is not the task's latest, or a configuration that is not newer than the
 // current one.
@@ -129,10 +146,33 @@
 	return occurrence
 }
 
+// cancel cancels a job that has not ended. The cancel of any other job leaves a
+// tombstone.
 func (s *State) cancel(id ID) {
 	if r := s.Jobs[id]; r != nil && !r.Status.Final() {
 		s.finishJob(r, StatusCancelled)
+		return
+	}
+	s.AddTombstone(Tombstone{Job: id, At: s.Time})
+}
+
+// AddTombstone adds a tombstone that is not older than those in the state.
+func (s *State) AddTombstone(t Tombstone) {
+	s.Tombstones = append(s.Tombstones, t)
+	s.CancelledAt[t.Job] = t.At
+}
+
+// CancelIsDue reports whether a cancel at time now has an effect: the job has not ended,
+// or a later submission would not be refused for long enough.
+func (s *State) CancelIsDue(id ID, now clock.Millis) bool {
+	refusedSince, refused := s.CancelledAt[id]
+	if r := s.Jobs[id]; r != nil {
+		if !r.Status.Final() {
+			return true
+		}
+		refusedSince, refused = max(refusedSince, r.EndedAt), true
 	}
+	return !refused || now-refusedSince > renewalAge
 }
 
 func (s *State) finishJob(r *Record, status Status) {
@@ -142,16 +182,23 @@
 	s.EndedJobs = append(s.EndedJobs, r.ID)
 }
 
-// removeExpired removes the jobs that ended at least Retention ago.
+// removeExpired removes the jobs that ended at least Retention ago, and the tombstones
+// that are as old.
 func (s *State) removeExpired() {
 	for len(s.EndedJobs) > 0 {
 		r := s.Jobs[s.EndedJobs[0]]
 		if r != nil && s.Time-r.EndedAt < Retention {
-			return
+			break
 		}
 		delete(s.Jobs, s.EndedJobs[0])
 		s.EndedJobs = s.EndedJobs[1:]
 	}
+	for len(s.Tombstones) > 0 && s.Time-s.Tombstones[0].At >= Retention {
+		if t := s.Tombstones[0]; s.CancelledAt[t.Job] == t.At {
+			delete(s.CancelledAt, t.Job)
+		}
+		s.Tombstones = s.Tombstones[1:]
+	}
 }
 
 // Task returns the state of a task, or nil if the task does not exist.
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -80,6 +80,38 @@
 	assert.Assert(t, Retention >= 2*clock.Minute)
 }
 
+// TestCancelIsRemembered guards against a cancel that does not hold against a later
+// submission, and against a state that grows with each repetition of a cancel.
+func TestCancelIsRemembered(t *testing.T) {
+	cancel := Op{Kind: OpCancel, Task: TaskID{Job: "a"}}
+	s := New()
+	for _, c := range []struct {
+		name       string
+		ops        []Op
+		now        clock.Millis
+		due        bool
+		tombstones int
+	}{
+		{"unknown job", nil, 1000, true, 0},
+		{"cancelled", []Op{cancel}, 1000, false, 1},
+		{"repeated soon", nil, 1000 + renewalAge, false, 1},
+		{"repeated later", nil, 1001 + renewalAge, true, 1},
+		{"renewed", []Op{cancel}, 1001 + renewalAge, false, 2},
+		{"after the retention of the first", nil, 1000 + Retention, true, 1},
+		{"submitted and cancelled", []Op{submitOp("a", Step{TaskCount: 1}), cancel}, 1000 + Retention, false, 1},
+		{"after the retention of both", nil, 1001 + renewalAge + Retention, true, 0},
+		{"ended long ago", []Op{cancel}, 1001 + renewalAge + Retention, false, 1},
+		{"job removed, cancel kept", nil, 1000 + 2*Retention, true, 1},
+	} {
+		s.Apply(c.ops, c.now)
+		assert.Equal(t, s.CancelIsDue("a", c.now), c.due, c.name)
+		assert.Equal(t, len(s.Tombstones), c.tombstones, c.name)
+		_, remembered := s.CancelledAt["a"]
+		assert.Equal(t, remembered, c.tombstones > 0, c.name)
+	}
+	assert.Assert(t, s.Jobs["a"] == nil)
+}
+
 // TestCloneIsIndependent guards against a clone that shares modified data with
 // its original: operations that the leader has applied only to its own copy
 // would change the committed state.
@@ -89,7 +121,8 @@
 		task := TaskID{Job: "a", Index: rapid.IntRange(0, 2).Draw(t, "index")}
 		s.Apply([]Op{submitOp("a", Step{TaskCount: 3}), {Kind: OpDeclareWave, Wave: &Wave{Number: 1, Machines: []MachineID{"m"}}}}, 1)
 		c := s.Clone()
-		c.Apply([]Op{assignOp(task, 1), endOp(task, 1, ResultDone), {Kind: OpMaintenanceStarted, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}}, 2)
+		c.Apply([]Op{assignOp(task, 1), endOp(task, 1, ResultDone), {Kind: OpMaintenanceStarted, WaveNumber: 1, Machine: "m"}, {Kind: OpCancel, Task: task}, {Kind: OpCancel, Task: task}}, 2)
+		assert.Equal(t, len(s.Tombstones)+len(s.CancelledAt), 0)
 		assert.Equal(t, s.Jobs["a"].Status, StatusQueued)
 		assert.Equal(t, s.Task(task).Phase, PhaseWaiting)
 		assert.Equal(t, len(s.Waves[1].Started), 0)
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -272,6 +272,9 @@
 // Final reports whether the status can no longer change.
 func (s Status) Final() bool { return s >= StatusCompleted }
 
+// MaxIDBytes is the maximum length of the ID of a job.
+const MaxIDBytes = 256
+
 // Record is a job and its progress.
 type Record struct {
 	Job
@@ -363,7 +366,8 @@
 const (
 	// OpSubmit adds Job.
 	OpSubmit OpKind = iota
-	// OpCancel cancels the job Task.Job.
+	// OpCancel cancels the job Task.Job, or leaves a tombstone if it is unknown or
+	// has ended.
 	OpCancel
 	// OpAssign assigns Task to Incarnation of Worker as run number Run.
 	OpAssign
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -11,6 +11,8 @@
 	DecisionCompleted           Decision = "job-completed"
 	DecisionFailed              Decision = "job-failed"
 	DecisionCancelled           Decision = "job-cancelled"
+	DecisionCancelRecorded      Decision = "cancel-recorded"
+	DecisionSubmissionLate      Decision = "submission-late"
 	DecisionStarted             Decision = "run-started"
 	DecisionEnded               Decision = "run-ended"
 	DecisionStopped             Decision = "run-stopped"
@@ -37,7 +39,7 @@
 // Decisions lists all kinds of decision, for the documentation page that
 // explains them.
 var Decisions = []Decision{
-	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionStarted, DecisionEnded, DecisionStopped, DecisionStartsDeferred,
+	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionCancelRecorded, DecisionSubmissionLate, DecisionStarted, DecisionEnded, DecisionStopped, DecisionStartsDeferred,
 	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionLeaderLoad, DecisionStateLoaded, DecisionStateDiscarded,
 }
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -311,14 +311,23 @@
 	return rec.Pool
 }
 
-// Submit accepts a job. It has no effect if the job ID is known.
+// Submit accepts a job. It has no effect if the job ID is known. A job whose cancel came
+// first is cancelled at once.
 func (s *Scheduler[P, H]) Submit(j jobs.Job, now clock.Millis) {
 	if s.State.Jobs[j.ID] != nil {
 		return
 	}
 	j.AcceptedAt = max(now, s.State.Time)
+	cancelledAt, cancelled := s.State.CancelledAt[j.ID]
 	s.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
 	rec := s.State.Jobs[j.ID]
+	if cancelled {
+		// Both operations are part of one batch, so that no state has the job
+		// without its cancel.
+		s.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: j.ID}}, now)
+		s.noteJob(DecisionCancelled, rec, fmt.Sprintf("submitted %d ms after its cancel", j.AcceptedAt-cancelledAt), false)
+		return
+	}
 	s.addPending(rec)
 	s.queueJob(rec, now)
 	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s, configuration version %d, %d steps, deadline in %d ms",
@@ -350,18 +359,36 @@
 	s.noteJob(finalDecision(rec.Status), rec, reason, lateness > 0 || rec.Status == jobs.StatusFailed)
 }
 
-// Cancel cancels a job that has not ended. It returns false if the job is
-// unknown.
+// maxTombstones bounds the cancels that are remembered, which take about 100 bytes each.
+const maxTombstones = 1 << 16
+
+// Cancel cancels a job. If the job is unknown or has ended, the cancel is remembered, so
+// that it holds against a submission that arrives later. It returns false, without any
+// effect, if too many cancels are remembered.
 func (s *Scheduler[P, H]) Cancel(id jobs.ID, now clock.Millis) bool {
+	if !s.State.CancelIsDue(id, max(now, s.State.Time)) {
+		return true
+	}
 	rec := s.State.Jobs[id]
-	if rec == nil {
-		return false
+	if rec == nil || rec.Status.Final() {
+		return s.recordCancel(id, now)
 	}
-	if !rec.Status.Final() {
-		s.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
-		s.noteJobEnd(rec, now)
-		s.stopJobRuns(rec)
+	s.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
+	s.noteJobEnd(rec, now)
+	s.stopJobRuns(rec)
+	return true
+}
+
+// recordCancel adds a tombstone for a job that is unknown or has ended.
+func (s *Scheduler[P, H]) recordCancel(id jobs.ID, now clock.Millis) bool {
+	if len(s.State.Tombstones) >= maxTombstones {
+		return false
 	}
+	s.apply(jobs.Op{Kind: jobs.OpCancel, Task: jobs.TaskID{Job: id}}, now)
+	s.plan.Notes = append(s.plan.Notes, Note{
+		Decision: DecisionCancelRecorded, Task: jobs.TaskID{Job: id},
+		Reason: fmt.Sprintf("the job is unknown or has ended; %d cancels are remembered", len(s.State.Tombstones)),
+	})
 	return true
 }
 
--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -12,7 +12,7 @@
 // configuration and about waves are not sent between processes, so the message has
 // no fields for Config, Wave and WaveNumber.
 func CallToWire(c runner.Call) *wirepb.WorkCall {
-	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: validUTF8(c.Host), Path: validUTF8(c.Path), Queue: validUTF8(c.Queue), Id: validUTF8(c.JobID)}
+	w := &wirepb.WorkCall{Kind: int32(c.Kind), Host: validUTF8(c.Host), Path: validUTF8(c.Path), Queue: validUTF8(c.Queue), Id: validUTF8(c.JobID), IssuedMs: int64(c.IssuedAt)}
 	if c.Kind == runner.CallSubmit {
 		w.Job = JobToWire(c.Job)
 	}
@@ -32,6 +32,7 @@
 	}
 	c := runner.Call{
 		Kind: kind, Host: w.GetHost(), Path: w.GetPath(), Queue: jobs.QueueName(w.GetQueue()), JobID: jobs.ID(w.GetId()),
+		IssuedAt: clock.Millis(w.GetIssuedMs()),
 	}
 	if kind == runner.CallSubmit {
 		c.Job, err = JobFromWire(w.GetJob())
@@ -45,6 +46,7 @@
 	w := &wirepb.WorkAnswer{
 		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
 		RetryAfterMs: int64(a.RetryAfter), Reason: validUTF8(a.Reason), Jobs: mapAll(a.Jobs, jobSummaryToWire),
+		LeaderMs: int64(a.LeaderTime),
 	}
 	if a.Report != nil {
 		w.Report = jobReportToWire(*a.Report)
@@ -67,6 +69,7 @@
 	a := runner.Answer{
 		Kind: kind, Status: status, Count: int(w.GetPending()),
 		RetryAfter: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
+		LeaderTime: clock.Millis(w.GetLeaderMs()),
 	}
 	for _, wireJob := range w.GetJobs() {
 		summary, err := jobSummaryFromWire(wireJob)
--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -16,7 +16,7 @@
 // lost between an operator or an entry process and the leader.
 func TestCallRoundTrip(t *testing.T) {
 	for _, c := range []runner.Call{
-		{Kind: runner.CallSubmit, Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}},
+		{Kind: runner.CallSubmit, IssuedAt: 7, Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}},
 		{Kind: runner.CallExplain, JobID: "a"},
 		{Kind: runner.CallList, Queue: "q"},
 	} {
@@ -26,7 +26,7 @@
 	}
 	summary := sched.JobSummary{ID: "a", Queue: "q", Status: jobs.StatusFailed, AcceptedAt: 5, Deadline: 9}
 	for _, a := range []runner.Answer{
-		{Kind: runner.AnswerUnavailable, RetryAfter: 500, Reason: "r"},
+		{Kind: runner.AnswerStale, RetryAfter: 500, Reason: "r", LeaderTime: 8},
 		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{summary}},
 		{Report: &sched.JobReport{
 			JobSummary: summary, Pool: "p", Now: 7, EndedAt: 6,
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -87,6 +87,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		w.Records = append(w.Records, jobRecordToWire(s.Jobs[id]))
 	}
+	for _, t := range s.Tombstones {
+		w.Tombstones = append(w.Tombstones, &wirepb.JobTombstone{Id: validUTF8(t.Job), AtMs: int64(t.At)})
+	}
 	for _, n := range slices.Sorted(maps.Keys(s.Waves)) {
 		w.Waves = append(w.Waves, waveToWire(s.Waves[n]))
 	}
@@ -136,6 +139,9 @@
 		}
 		s.Jobs[r.ID] = r
 	}
+	for _, t := range w.GetTombstones() {
+		s.AddTombstone(jobs.Tombstone{Job: jobs.ID(t.GetId()), At: clock.Millis(t.GetAtMs())})
+	}
 	for _, wireWave := range w.GetWaves() {
 		s.Waves[int(wireWave.GetNumber())] = waveFromWire(wireWave)
 	}
--- a/io/proto/codec/replay_test.go
+++ b/io/proto/codec/replay_test.go
@@ -105,6 +105,7 @@
 			leader.Apply(model.Version(n+2), c)
 			restarted.Apply(model.Version(n+2), logged)
 			assert.Equal(t, len(restarted.Jobs.Jobs), len(leader.Jobs.Jobs))
+			assert.DeepEqual(t, restarted.Jobs.CancelledAt, leader.Jobs.CancelledAt)
 			for id, r := range leader.Jobs.Jobs {
 				assert.Equal(t, restarted.Jobs.Jobs[id].Status, r.Status)
 			}
--- a/io/trans/peers/leader.go
+++ b/io/trans/peers/leader.go
@@ -37,6 +37,9 @@
 	mu     sync.Mutex
 	// members are tried in rotation.
 	members []model.Member
+	// leaderTime is the leader's time in the latest answer to a call of CallRunner; 0
+	// if unknown.
+	leaderTime clock.Millis
 	// leaderAddress is the address that last responded as the leader; empty if
 	// unknown.
 	leaderAddress string
@@ -263,6 +266,22 @@
 	return l.leaderAddress
 }
 
+// LeaderTime returns the leader's time in the latest answer of CallRunner; 0 if unknown.
+func (l *LeaderClient) LeaderTime() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaderTime
+}
+
+// observeLeaderTime stores the leader's time of an answer; 0 stands for none.
+func (l *LeaderClient) observeLeaderTime(t clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t != 0 {
+		l.leaderTime = t
+	}
+}
+
 func (l *LeaderClient) setKnownLeader(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -53,8 +53,36 @@
 // KindOutcomeUnknown the call may have been executed, by any of the attempts. After
 // an *Error of another kind it was not; it is of KindUnavailable if ctx ended before
 // any attempt could have executed the call. An answer that the call was not executed
-// holds for all attempts; otherwise it is of kind AnswerOutcomeUnknown.
+// holds for all attempts; otherwise it is of kind AnswerOutcomeUnknown. A submission
+// without IssuedAt is sent once the leader's time is known.
 func (l *LeaderClient) CallRunner(ctx context.Context, c runner.Call) (runner.Answer, error) {
+	if c.Kind == runner.CallSubmit && c.IssuedAt == 0 {
+		if a, err := l.learnTime(ctx); err != nil || a.Kind != runner.AnswerDone {
+			return a, err
+		}
+		c.IssuedAt = l.LeaderTime()
+	}
+	return l.sendCall(ctx, c)
+}
+
+// learnTime asks the leader for its time. Its answers and errors say that the call for
+// which the time is needed was not executed.
+func (l *LeaderClient) learnTime(ctx context.Context) (runner.Answer, error) {
+	if l.LeaderTime() != 0 {
+		return runner.Answer{}, nil
+	}
+	a, err := l.sendCall(ctx, runner.Call{Kind: runner.CallPing})
+	if err != nil {
+		return a, &Error{Op: "work", Kind: KindUnavailable, Err: err}
+	}
+	if a.Kind == runner.AnswerOutcomeUnknown {
+		a.Kind = runner.AnswerUnavailable
+	}
+	return a, nil
+}
+
+// sendCall is CallRunner for a call that is complete.
+func (l *LeaderClient) sendCall(ctx context.Context, c runner.Call) (runner.Answer, error) {
 	var a runner.Answer
 	mayHaveRun := false
 	req := codec.CallToWire(c)
@@ -67,6 +95,7 @@
 		}
 		l.client.observe(resp.GetStamp())
 		a, err = wholeAnswer(resp)
+		l.observeLeaderTime(a.LeaderTime)
 		// The member has handled the call even if its answer can't be decoded.
 		mayHaveRun = mayHaveRun || err != nil
 		return err
--- a/io/trans/peers/work_test.go
+++ b/io/trans/peers/work_test.go
@@ -51,7 +51,7 @@
 	l := NewLeaderClient(NewClient("test", zeroStamps{}), members, clock.Real())
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	return l.CallRunner(ctx, runner.Call{Kind: runner.CallSubmit, Host: "h", Path: "/q/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}})
+	return l.CallRunner(ctx, runner.Call{Kind: runner.CallSubmit, IssuedAt: 1, Host: "h", Path: "/q/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}})
 }
 
 // TestAnswerThatIsNotWhole guards against a response without content that is taken
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -104,6 +104,8 @@
 		{"heartbeats-renewed-alone", count(func(n runner.Counts) int64 { return n.BareRenewals })},
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
 		{"job-calls-refused", count(func(n runner.Counts) int64 { return n.OverloadRefusals })},
+		{"job-submissions-stale", count(func(n runner.Counts) int64 { return n.StaleSubmissions })},
+		{"job-submissions-cancelled", count(func(n runner.Counts) int64 { return n.CancelledSubmissions })},
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
 		{"job-operations", count(func(n runner.Counts) int64 { return n.Operations })},
 		{"job-resets", count(func(n runner.Counts) int64 { return n.Resets })},
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -103,6 +103,10 @@
 // submitter can retry in time.
 func (s SubmitService) Call(ctx context.Context, c runner.Call) runner.Answer {
 	began := s.clock.Now()
+	if c.Kind == runner.CallSubmit && c.IssuedAt == 0 {
+		// Repetitions keep the time of the first attempt.
+		c.IssuedAt = s.leader.LeaderTime()
+	}
 	a := s.call(ctx, c, began+leaderTimeout)
 	s.stats.callMillis.Update(int64(s.clock.Now() - began))
 	s.stats.answers[a.Kind].Add(1)
--- a/io/trans/roles/submit_test.go
+++ b/io/trans/roles/submit_test.go
@@ -58,7 +58,7 @@
 // whose answer was lost.
 func TestOverloadedLeaderIsNotAskedAgain(t *testing.T) {
 	const overloaded, unknown, unavailable, done = runner.AnswerOverloaded, runner.AnswerOutcomeUnknown, runner.AnswerUnavailable, runner.AnswerDone
-	const noQueue = runner.AnswerNoQueue
+	const noQueue, stale = runner.AnswerNoQueue, runner.AnswerStale
 	for _, c := range []struct {
 		name    string
 		answers []runner.AnswerKind
@@ -70,13 +70,15 @@
 		{"answer lost, then overloaded", []runner.AnswerKind{unknown, overloaded, done}, done, 3},
 		{"no queue", []runner.AnswerKind{noQueue}, noQueue, 1},
 		{"answer lost, then no queue", []runner.AnswerKind{unknown, noQueue}, unknown, 3},
+		{"stale", []runner.AnswerKind{stale}, stale, 1},
+		{"answer lost, then stale", []runner.AnswerKind{unknown, stale}, unknown, 3},
 		{"answer lost, then overloaded for good", []runner.AnswerKind{unknown, overloaded}, unknown, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l := &scriptedLeader{answers: c.answers}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			a := submitServiceFor(t, l).Call(ctx, runner.Call{Kind: runner.CallSubmit, Queue: "q", JobID: "j"})
+			a := submitServiceFor(t, l).Call(ctx, runner.Call{Kind: runner.CallSubmit, IssuedAt: 1, Queue: "q", JobID: "j"})
 			assert.Equal(t, a.Kind, c.want)
 			if c.calls > 0 {
 				assert.Equal(t, l.calls.Load(), c.calls)
