Remove expired jobs before a batch is applied

Cause: the leader applies operations one by one and removes expired jobs after each; the replicas apply the batch first. A submission in the same batch met the old job there and had no effect.

Evidence: TestReplicasExpireWithTheLeader failed before (the replica had no such job).

Change: expired jobs and tombstones are removed first. The replicas apply an operation at a later time than the leader, so they have removed at least what it had.

--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -49,17 +49,19 @@
 	return &State{Jobs: map[ID]*Record{}, Waves: map[int]*Wave{}, CancelledAt: map[ID]clock.Millis{}}
 }
 
-// Apply applies a batch of operations made at time now, and then removes the
-// jobs and tombstones whose retention has ended. An operation that does not match the state
+// Apply removes the jobs and tombstones whose retention has ended at time now, and then
+// applies a batch of operations. In this order the replicas, which apply the operations
+// later and in larger batches than the leader, have removed what the leader had. An
+// operation that does not match the state
 // has no effect, for example the submission of a known ID, the end of a run
 // that is not the task's latest, or a configuration that is not newer than the
 // current one.
 func (s *State) Apply(ops []Op, now clock.Millis) {
 	s.Time = max(s.Time, now)
+	s.removeExpired()
 	for i := range ops {
 		s.apply(&ops[i])
 	}
-	s.removeExpired()
 }
 
 func (s *State) apply(op *Op) {
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -80,6 +80,22 @@
 	assert.Assert(t, Retention >= 2*clock.Minute)
 }
 
+// TestReplicasExpireWithTheLeader guards against an accepted job that the replicated state
+// ignores: the leader applies operations one by one, and has removed an ended job with the
+// same ID before, while the replicas apply them in one batch.
+func TestReplicasExpireWithTheLeader(t *testing.T) {
+	ops := []Op{submitOp("b", Step{TaskCount: 1}), submitOp("a", Step{TaskCount: 1})}
+	leader := New()
+	leader.Apply([]Op{submitOp("a", Step{TaskCount: 1}), {Kind: OpCancel, Task: TaskID{Job: "a"}}}, 1000)
+	replica := leader.Clone()
+	for _, o := range ops {
+		leader.Apply([]Op{o}, 1000+Retention)
+	}
+	replica.Apply(ops, 1001+Retention)
+	assert.Equal(t, leader.Jobs["a"].Status, StatusQueued)
+	assert.Equal(t, replica.Jobs["a"].Status, StatusQueued)
+}
+
 // TestCancelIsRemembered guards against a cancel that does not hold against a later
 // submission, and against a state that grows with each repetition of a cancel.
 func TestCancelIsRemembered(t *testing.T) {
