Refuse a claim that arrives after its attempt was given up

Cause: the outcome "not run" released only a claim that was there. A claim that is proposed concurrently, held up by a partition, or delivered a second time is applied after it and granted, and nobody releases it any more.

Evidence: TestReleasedClaimIsNotGranted failed before (granted).

Change: the replicated state remembers the tokens of attempts that did not run for 10 minutes, 50,000 at most, and refuses their claims. A token is never used for another attempt.

--- a/core/coord/claim/claimer.go
+++ b/core/coord/claim/claimer.go
@@ -130,7 +130,7 @@
 
 // Finish records how a claimed request ended. An outcome with NotRun frees the key, so
 // that another attempt can claim it; after any other outcome the key stays claimed. An
-// outcome that the control group applies before the claim has no effect.
+// outcome with NotRun also holds if the control group applies it before the claim.
 // Finish doesn't block; the outcome is proposed repeatedly until the control group
 // accepts it. When too many outcomes are
 // waiting, the outcome is dropped and counted, and the key stays claimed.
--- a/core/state/fleet/apply_test.go
+++ b/core/state/fleet/apply_test.go
@@ -326,3 +326,25 @@
 	assert.Equal(t, held.State, model.ClaimRunning)
 	assert.Assert(t, !claim(4, "a", 10).Granted, "a request of an earlier incarnation must not run again")
 }
+
+// TestReleasedClaimIsNotGranted guards against a key that stays claimed as running for a
+// day although its request never ran: a network partition holds up the claim, its caller
+// gives up, and the claim arrives after the outcome "not run", or a second time after it.
+func TestReleasedClaimIsNotGranted(t *testing.T) {
+	s := fleet.New()
+	key := model.ClaimKey{Customer: "x", Service: "s", Key: "k"}
+	claim := func(token string) model.ClaimAnswer {
+		r := s.Apply(s.Index+1, model.Change{Kind: model.ChangeClaims, Claims: []model.Claim{{Key: key, Token: token}}})
+		return r.Claims[0]
+	}
+	release := func(token string) {
+		s.Apply(s.Index+1, model.Change{Kind: model.ChangeOutcomes, Outcomes: []model.ClaimOutcome{{Key: key, Token: token, NotRun: true}}})
+	}
+	release("first")
+	assert.Assert(t, !claim("first").Granted)
+	assert.Assert(t, claim("second").Granted)
+	release("second")
+	assert.Assert(t, !claim("second").Granted)
+	assert.Assert(t, !claim("first").Granted)
+	assert.Assert(t, claim("third").Granted)
+}
--- a/core/state/fleet/claims.go
+++ b/core/state/fleet/claims.go
@@ -9,14 +9,16 @@
 // attempt claims it again, for example because the answer was lost, the claim is
 // granted again as long as the request has not finished. Claims without a token
 // are refused, because two attempts without one could not be told apart and
-// would both be granted. Claims without a key are refused too.
+// would both be granted. Claims without a key are refused too, and those of attempts
+// that were given up: nobody would release the key.
 func (s *State) applyClaims(index model.Version, c model.Change) model.Result {
 	s.setIncarnation(c.Process, c.Incarnation)
 	r := model.Result{Version: index, Claims: make([]model.ClaimAnswer, 0, len(c.Claims))}
 	for _, claim := range c.Claims {
 		current, ok := s.Claims.Get(claim.Key)
+		_, released := s.Released.Get(claim.Token)
 		switch {
-		case claim.Token == "" || claim.Key.Key == "":
+		case claim.Token == "" || claim.Key.Key == "" || released:
 			r.Claims = append(r.Claims, model.ClaimAnswer{FirstState: model.ClaimUnknown})
 		case !ok:
 			s.Claims.Put(claim.Key, ClaimRecord{Token: claim.Token, Owner: c.Process, Incarnation: c.Incarnation}, s.Time)
@@ -55,9 +57,13 @@
 // applyOutcomes closes claims, or releases them if the request did not run. It
 // ignores outcomes of attempts that do not hold the claim, and outcomes for a
 // claim that is already closed: a delayed or repeated message must not release
-// the claim of a request that ran.
+// the claim of a request that ran. An attempt whose request did not run can't claim a
+// key any more, because its claim may be held up and arrive after the outcome.
 func (s *State) applyOutcomes(index model.Version, c model.Change) model.Result {
 	for _, o := range c.Outcomes {
+		if o.NotRun && o.Token != "" {
+			s.Released.Put(o.Token, struct{}{}, s.Time)
+		}
 		current, ok := s.Claims.Get(o.Key)
 		if !ok || current.Token != o.Token || current.State != model.ClaimRunning {
 			continue
--- a/core/state/fleet/state.go
+++ b/core/state/fleet/state.go
@@ -16,6 +16,10 @@
 	// claims take 27 MB, and a control process may use 128 MB.
 	ClaimLifetime = 24 * clock.Hour
 	MaxClaims     = 200_000
+	// ReleasedLifetime and MaxReleased bound the recorded tokens of released claims.
+	// A claim that a network partition holds up arrives seconds or minutes later.
+	ReleasedLifetime = 10 * clock.Minute
+	MaxReleased      = 50_000
 	// MaxOutages bounds the finished outages. At the target size about 2,000
 	// instances a day are restarted, replaced or maintained.
 	MaxOutages = 100_000
@@ -53,6 +57,9 @@
 	Results *ExpiringMap[model.RequestID, model.Result]
 	// Claims holds the idempotency keys that were claimed; at most MaxClaims.
 	Claims *ExpiringMap[model.ClaimKey, ClaimRecord]
+	// Released holds the tokens of attempts whose request did not run and will not: a
+	// claim with such a token that arrives later is refused. At most MaxReleased.
+	Released *ExpiringMap[string, struct{}]
 	// GoneProcesses holds the time at which an entry process was declared gone;
 	// its runs that started before that time have ended. At most
 	// MaxGoneProcesses.
@@ -110,6 +117,7 @@
 		Maintenance:   map[string]model.Maintenance{},
 		Results:       NewExpiringMap[model.RequestID, model.Result](MaxResults, ResultLifetime),
 		Claims:        NewExpiringMap[model.ClaimKey, ClaimRecord](MaxClaims, ClaimLifetime),
+		Released:      NewExpiringMap[string, struct{}](MaxReleased, ReleasedLifetime),
 		Authors:       map[string]Author{},
 		GoneProcesses: map[model.Process]clock.Millis{},
 		Incarnations:  map[model.Process]uint64{},
--- a/io/proto/codec/state.go
+++ b/io/proto/codec/state.go
@@ -47,6 +47,9 @@
 			TimeMs: int64(t),
 		})
 	})
+	s.Released.Each(func(token string, _ struct{}, t clock.Millis) {
+		w.Released = append(w.Released, &wirepb.ReleasedClaim{Token: validUTF8(token), TimeMs: int64(t)})
+	})
 	for _, object := range slices.Sorted(maps.Keys(s.Authors)) {
 		a := s.Authors[object]
 		w.Authors = append(w.Authors, &wirepb.Tombstone{Name: validUTF8(object), Version: uint64(a.Version), Author: validUTF8(a.Name)})
@@ -95,6 +98,9 @@
 	if err := restoreClaims(s, w); err != nil {
 		return nil, err
 	}
+	if err := restoreReleased(s, w); err != nil {
+		return nil, err
+	}
 	var lastVersion uint64
 	for _, t := range w.GetTouches() {
 		if t.GetVersion() < lastVersion || t.GetVersion() > w.GetVersion() {
@@ -214,6 +220,20 @@
 	return nil
 }
 
+// restoreReleased adds the tokens of released claims to s in the order of the message.
+func restoreReleased(s *fleet.State, w *wirepb.FleetSnapshot) error {
+	var lastTime clock.Millis
+	for n, m := range w.GetReleased() {
+		t := clock.Millis(m.GetTimeMs())
+		if n > 0 && t < lastTime {
+			return stateError(KindRange, "a released claim with time %d ms follows one with time %d ms", t, lastTime)
+		}
+		lastTime = t
+		s.Released.Put(m.GetToken(), struct{}{}, t)
+	}
+	return nil
+}
+
 func tableChangeToWire(t fleet.TableChange) *wirepb.Touch {
 	return &wirepb.Touch{Version: uint64(t.Version), Contract: validUTF8(t.Contract), Instance: validUTF8(t.Instance)}
 }
--- a/io/proto/codec/state_test.go
+++ b/io/proto/codec/state_test.go
@@ -39,6 +39,7 @@
 	}
 	for n := range rapid.IntRange(0, 5).Draw(t, "remembered") {
 		s.Results.Put(model.RequestID(fmt.Sprint("r", n%3)), anyResult(t), clock.Millis(n))
+		s.Released.Put(fmt.Sprint("t", n%3), struct{}{}, clock.Millis(n))
 		s.Claims.Put(anyClaimKey(t), fleet.ClaimRecord{Token: "t", State: model.ClaimDone, Status: 200 + n}, clock.Millis(n))
 	}
 	s.Outages = []model.Outage{{Instance: "i", Pool: "p", From: 1, To: 2}, {Instance: "i", From: 3, To: 4}}
@@ -59,9 +60,10 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, entriesOf(got.Results), entriesOf(s.Results))
 		assert.DeepEqual(t, entriesOf(got.Claims), entriesOf(s.Claims))
+		assert.DeepEqual(t, entriesOf(got.Released), entriesOf(s.Released))
 		assert.Assert(t, bytes.Equal(b, Codec{}.EncodeState(got)))
 		assert.DeepEqual(t, got.Jobs, s.Jobs, cmpopts.EquateEmpty())
-		got.Results, got.Claims, got.Jobs = s.Results, s.Claims, s.Jobs
+		got.Results, got.Claims, got.Released, got.Jobs = s.Results, s.Claims, s.Released, s.Jobs
 		assert.Equal(t, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", s))
 	})
 }
