Propose the waiting outcomes of claims once more at a stop

What callers could see: a key stays claimed as running after its entry process was stopped as planned while it waited to propose outcomes again.

Evidence: TestStopProposesWaitingOutcomes failed before (no outcome arrived).

Change: a stop during the wait proposes what waits, and what is in the ring, once more.

--- a/core/coord/claim/claimer.go
+++ b/core/coord/claim/claimer.go
@@ -156,8 +156,7 @@
 	}
 }
 
-// Stop ends Run. The waiting outcomes are proposed once more first, unless the
-// claimer is waiting for retryDelay after a failed proposal of outcomes.
+// Stop ends Run. The waiting outcomes are proposed once more first.
 func (c *Claimer[P]) Stop() { close(c.done) }
 
 // collectBatch collects claims into a batch for BatchWait, or until it has MaxBatch
@@ -237,6 +236,7 @@
 		for len(waiting) > 0 {
 			left := c.proposeOutcomes(waiting)
 			if len(left) == len(waiting) && !c.waitForRetry() {
+				c.proposeOutcomes(c.outcomes.Drain(left, MaxOutcomes))
 				return
 			}
 			waiting = left
