Forget how long demand was high while none is reported

What users could see: a surge that follows an earlier one after a quiet time counts as lasting since the earlier one, so that instances are lent or moved for it at once.

Cause: without demand and without extras the planner returned before it updated its times.

Evidence: TestSurgeAfterQuietTime failed before (600 s too early).

Change: the times are cleared there.

--- a/core/coord/mover/surgeplanner.go
+++ b/core/coord/mover/surgeplanner.go
@@ -76,6 +76,7 @@
 	// Without reported demand and without extras there is nothing to decide, and
 	// counting the fleet's instances can be skipped.
 	if len(demands) == 0 && len(s.extras) == 0 {
+		clear(s.highSince)
 		return nil, false
 	}
 	holdings := holdingsOf(t)
