Cancel a known job whatever the length of its ID

What callers could see: the cancel of a running job with an ID above 256 bytes, which an older version accepted, is answered 200 and has no effect.

Evidence: TestLongIDs, with such a job, failed before.

Change: the limit holds for cancels of unknown jobs alone. The simulation of late submissions keeps the offset of a clock in a local variable.

--- a/core/coord/runner/cancel_test.go
+++ b/core/coord/runner/cancel_test.go
@@ -68,16 +68,21 @@
 	ask(t, r, AnswerDone, issued("/q/a", maxSubmissionAge+1))
 }
 
-// TestLongIDs guards against cancels that are remembered for IDs of any length.
+// TestLongIDs guards against cancels that are remembered for IDs of any length, and
+// against one that is acknowledged without effect, of a job that an older version of the
+// program accepted under a longer ID.
 func TestLongIDs(t *testing.T) {
 	g := newFakeGroup()
-	r := start(t, g)
 	id := strings.Repeat("a", jobs.MaxIDBytes)
+	old := jobs.Job{ID: jobs.ID(id + "old"), Queue: "q", Pool: "p", Steps: []jobs.Step{{TaskCount: 1}}}
+	g.apply(model.Change{Kind: model.ChangeJobs, Ops: []jobs.Op{{Kind: jobs.OpSubmit, Job: &old}}})
+	r := start(t, g)
 	ask(t, r, AnswerInvalid, submit("/q/"+id+"a"))
 	ask(t, r, AnswerNoJob, Call{Kind: CallCancel, Host: "h", Path: "/q/" + id + "a"})
 	g.set(func() { assert.Equal(t, len(g.state.Jobs.Tombstones), 0) })
 	ask(t, r, AnswerNoJob, Call{Kind: CallCancel, Host: "h", Path: "/q/" + id})
 	g.set(func() { assert.Equal(t, len(g.state.Jobs.Tombstones), 1) })
+	assert.Equal(t, ask(t, r, AnswerDone, Call{Kind: CallCancel, Host: "h", Path: "/q/" + string(old.ID)}).Status, jobs.StatusCancelled)
 }
 
 // Parameters of lateSimulation.
@@ -100,7 +105,6 @@
 type lateSimulation struct {
 	rand   *rand.Rand
 	now    clock.Millis
-	offset clock.Millis
 	group  *fakeGroup
 	fake   *clock.Fake
 	leader *testRunner
@@ -131,8 +135,8 @@
 
 // elect makes another process the leader, with another clock.
 func (s *lateSimulation) elect() {
-	s.offset = clock.Millis(s.rand.Int64N(int64(2*maxClockOffset))) - maxClockOffset
-	s.fake = clock.NewFake(s.now + s.offset)
+	offset := clock.Millis(s.rand.Int64N(int64(2*maxClockOffset))) - maxClockOffset
+	s.fake = clock.NewFake(s.now + offset)
 	s.group.term++
 	s.leader = New(Config[*fakeGroup, noMachines, sched.EarliestDeadline, place.PeerComparison]{
 		Group: s.group, Health: place.PeerComparison{MinScore: 3}, Settings: sched.Defaults(), Clock: s.fake.Clock(),
--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -191,7 +191,7 @@
 		return Answer{Kind: AnswerInvalid, Reason: fmt.Sprintf("the ID of the job has more than %d bytes", jobs.MaxIDBytes)}
 	case c.Kind == CallSubmit:
 		return r.submit(c, q, id, now)
-	case c.Kind == CallCancel && len(id) <= jobs.MaxIDBytes && !r.scheduler.Cancel(id, now):
+	case c.Kind == CallCancel && (rec != nil || len(id) <= jobs.MaxIDBytes) && !r.scheduler.Cancel(id, now):
 		return overloaded(c, "too many cancels of unknown jobs are remembered")
 	case rec == nil:
 		return Answer{Kind: AnswerNoJob, Reason: "no such job"}
