--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,25 +22,36 @@
 // send sends a request and returns the status and the body, or status 0 if there was no
 // complete answer.
 func send(method, url, host, body string, limit time.Duration) (int, string) {
+	status, answer, _ := sendOnce(method, url, host, body, limit)
+	return status, answer
+}
+
+// sendOnce is send. It returns also when the caller is told to come back, 100 ms if it
+// is not told.
+func sendOnce(method, url, host, body string, limit time.Duration) (status int, answer string, retry time.Duration) {
+	retry = 100 * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
-		return 0, err.Error()
+		return 0, err.Error(), retry
 	}
 	q.Host = host
 	q.Header.Set("Content-Type", "application/json")
 	q.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
 	resp, err := caller.Do(q)
 	if err != nil {
-		return 0, err.Error()
+		return 0, err.Error(), retry
 	}
 	defer resp.Body.Close()
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && os.Getenv("HASTY") != "1" {
+		retry = time.Duration(seconds) * time.Second
+	}
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, err.Error()
+		return 0, err.Error(), retry
 	}
-	return resp.StatusCode, string(b)
+	return resp.StatusCode, string(b), retry
 }
 
 // operate sends an order of the operator to the control processes in turn until one gives
@@ -93,17 +107,22 @@
 		s.version, strings.Join(rs, ","), strings.Join(ss, ",")))
 }
 
+// clientCount spreads the clients over the entry processes.
+var clientCount atomic.Int64
+
 // client sends a client's call to the entry processes in turn until one gives a clear
 // response, at most four times more.
 func (s *system) client(method, path, body string) (int, string) {
 	status, answer := 0, ""
-	for n := range 5 {
-		e := s.entries[n%len(s.entries)]
-		status, answer = send(method, fmt.Sprintf("http://%s:%d%s", e.ip, frontPort, path), "pule25.example", body, clientDeadline)
+	first := clientCount.Add(1)
+	for n := range int64(5) {
+		e := s.entries[(first+n)%int64(len(s.entries))]
+		retry := time.Duration(0)
+		status, answer, retry = sendOnce(method, fmt.Sprintf("http://%s:%d%s", e.ip, frontPort, path), "pule25.example", body, clientDeadline)
 		if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
 			break
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(retry)
 	}
 	return status, answer
 }
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 	"gang-reservation":  playGangReservation,
 	"foreign-entries":   playForeignEntries,
 	"soak":              playSoak,
+	"large-jobs":        playLargeJobs,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -392,12 +392,12 @@
 		return
 	}
 	var steps []step
-	if json.Unmarshal([]byte(spec), &steps) != nil || t.step >= len(steps) {
+	if json.Unmarshal([]byte(spec), &steps) != nil || len(steps) == 0 {
 		m.sys.rec.broken("UNASKED", "minion %s is told to start %s with the spec %.80q", m.id, name, spec)
 		return
 	}
 	now := time.Now()
-	r := &taskRun{name: t, number: number, step: &steps[t.step], started: now, ticked: now, saved: saved}
+	r := &taskRun{name: t, number: number, step: &steps[min(t.step, len(steps)-1)], started: now, ticked: now, saved: saved}
 	if m.guards && !m.fits(r.step) {
 		m.lastEnd++
 		m.closed[name] = max(m.closed[name], number)
--- a/review/stand2/plan.go
+++ b/review/stand2/plan.go
@@ -23,6 +23,8 @@
 	MayMiss     int
 	// FailsOnce makes each task of the step fail at its first start, after Millis.
 	FailsOnce bool
+	// Image names what the tasks run. The minions do not need it.
+	Image string `json:"-"`
 }
 
 // plan is a job. The minions know it from its spec.
@@ -33,9 +35,17 @@
 	Interval int64
 }
 
+// maxSpecSteps is the largest number of steps that a spec holds. The steps of a longer job
+// are all alike, and the spec holds the first.
+const maxSpecSteps = 8
+
 // spec encodes the steps of a plan, which the minions need to play its tasks.
 func (p *plan) spec() string {
-	b, _ := json.Marshal(p.Steps)
+	steps := p.Steps
+	if len(steps) > maxSpecSteps {
+		steps = steps[:1]
+	}
+	b, _ := json.Marshal(steps)
 	return string(b)
 }
 
@@ -63,6 +73,9 @@
 		if s.MayMiss > 0 {
 			line += fmt.Sprintf(`,"mayMiss":%d`, s.MayMiss)
 		}
+		if s.Image != "" {
+			line += fmt.Sprintf(`,"image":%q`, s.Image)
+		}
 		if s.Label != "" {
 			line += fmt.Sprintf(`,"requiredLabel":%q`, s.Label)
 		}
