Let a new leader move machines without a wait, and know which are back

Cause: after an election no machine was moved or maintained for 3 s, because two leaders must not give orders for one machine in turn.

Change: moves are recorded as operations before they are sent, and the state keeps the orders of the last 30 s. A new leader that has heard 90% of the workers gives orders at once for all machines without a recent order. Machines without a known worker wait while a worker of an earlier term may be unheard.

--- a/core/state/jobs/clone.go
+++ b/core/state/jobs/clone.go
@@ -11,6 +11,7 @@
 	c := *s
 	c.EndedJobs = slices.Clone(s.EndedJobs)
 	c.Tombstones = slices.Clone(s.Tombstones)
+	c.MachineOrders = slices.Clone(s.MachineOrders)
 	c.CancelledAt = maps.Clone(s.CancelledAt)
 	c.Jobs = make(map[ID]*Record, len(s.Jobs))
 	for id, r := range s.Jobs {
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -36,8 +36,15 @@
 	// CancelledAt holds the time of the latest entry in Tombstones of each job and
 	// customer.
 	CancelledAt map[CancelKey]clock.Millis
+	// MachineOrders lists the orders for machines of the last orderRetention, ordered
+	// by time. A new leader waits before it gives orders for the same machines.
+	MachineOrders []MachineOrder
 }
 
+// orderRetention is how long an order for a machine is kept. It is well above the time
+// for which a new leader waits, because the clocks of successive leaders differ.
+const orderRetention = 30 * clock.Second
+
 // CancelKey identifies the cancels that hold against a submission: those of the same
 // customer. Otherwise a customer could keep others from submitting jobs.
 type CancelKey struct {
@@ -92,14 +99,25 @@
 	case OpMaintenanceOrdered:
 		if w := s.Waves[op.WaveNumber]; w != nil {
 			w.Ordered[op.Machine] = true
+			s.addMachineOrder(MachineOrder{Machine: op.Machine})
 		}
 	case OpMaintenanceStarted:
 		if w := s.Waves[op.WaveNumber]; w != nil {
 			w.Started[op.Machine] = true
+			// The latest order for the machine may be a repetition, which is not
+			// recorded itself.
+			s.addMachineOrder(MachineOrder{Machine: op.Machine})
 		}
+	case OpMoveOrdered:
+		s.addMachineOrder(MachineOrder{Machine: op.Machine, Pool: op.Pool, Incarnation: op.Incarnation})
 	}
 }
 
+func (s *State) addMachineOrder(o MachineOrder) {
+	o.At = s.Time
+	s.MachineOrders = append(s.MachineOrders, o)
+}
+
 func (s *State) submit(j *Job) {
 	if s.Jobs[j.ID] != nil {
 		return
@@ -193,8 +211,8 @@
 	s.EndedJobs = append(s.EndedJobs, r.ID)
 }
 
-// removeExpired removes the jobs that ended at least Retention ago, and the tombstones
-// that are as old.
+// removeExpired removes the jobs that ended at least Retention ago, the tombstones that
+// are as old, and the orders for machines that are older than orderRetention.
 func (s *State) removeExpired() {
 	for len(s.EndedJobs) > 0 {
 		r := s.Jobs[s.EndedJobs[0]]
@@ -204,6 +222,9 @@
 		delete(s.Jobs, s.EndedJobs[0])
 		s.EndedJobs = s.EndedJobs[1:]
 	}
+	for len(s.MachineOrders) > 0 && s.Time-s.MachineOrders[0].At > orderRetention {
+		s.MachineOrders = s.MachineOrders[1:]
+	}
 	for len(s.Tombstones) > 0 && s.Time-s.Tombstones[0].At >= Retention {
 		if t := s.Tombstones[0]; s.CancelledAt[t.CancelKey] == t.At {
 			delete(s.CancelledAt, t.CancelKey)
--- a/core/state/jobs/state_test.go
+++ b/core/state/jobs/state_test.go
@@ -166,3 +166,17 @@
 	s.Apply([]Op{{Kind: OpDeclareWave, Wave: &Wave{Number: 2, Machines: []MachineID{"m1", "m1"}}}, {Kind: OpMaintenanceStarted, WaveNumber: 2, Machine: "m1"}}, 3)
 	assert.Assert(t, s.Waves[2].Completed())
 }
+
+// TestMachineOrdersAreBounded guards against orders for machines that are kept for ever, and
+// against one that is forgotten while it still matters to a new leader.
+func TestMachineOrdersAreBounded(t *testing.T) {
+	s := New()
+	move := Op{Kind: OpMoveOrdered, Machine: "m", Pool: "p", Incarnation: 7}
+	s.Apply([]Op{move}, 1000)
+	s.Apply([]Op{move}, 1000+orderRetention)
+	assert.DeepEqual(t, s.MachineOrders, []MachineOrder{
+		{Machine: "m", Pool: "p", Incarnation: 7, At: 1000}, {Machine: "m", Pool: "p", Incarnation: 7, At: 1000 + orderRetention},
+	})
+	s.Apply(nil, 1001+orderRetention)
+	assert.Equal(t, len(s.MachineOrders), 1)
+}
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -322,6 +322,17 @@
 	Started map[MachineID]bool
 }
 
+// MachineOrder is an order for a machine that may have been sent to the platform.
+type MachineOrder struct {
+	Machine MachineID
+	// Pool is the target of a move; empty for maintenance. Incarnation is that of the
+	// worker that the move ends; 0 for none.
+	Pool        PoolName
+	Incarnation Incarnation
+	// At is the leader's time of the order.
+	At clock.Millis
+}
+
 // Completed reports whether the wave needs no more orders: the maintenance of
 // every machine has started, but may not have ended, or the machine no longer
 // exists.
@@ -396,6 +407,12 @@
 	// OpMaintenanceStarted records that the maintenance of Machine in wave
 	// WaveNumber has started, or that the machine no longer exists.
 	OpMaintenanceStarted
+	// OpMoveOrdered records that the move of Machine to Pool may have been ordered.
+	// Incarnation is that of the machine's worker; 0 for none.
+	OpMoveOrdered
+
+	// LastOpKind is the highest kind of operation.
+	LastOpKind = OpMoveOrdered
 )
 
 // Op is one operation. Only the fields that Kind uses are set.
@@ -409,6 +426,7 @@
 	Checkpoint  string
 	WaveNumber  int
 	Machine     MachineID
+	Pool        PoolName
 	// Customer cancels the job; empty for a cancel without a key.
 	Customer CustomerName
 	// Job, Config and Wave are nil unless Kind uses them. They must not be
--- a/core/state/sched/machinelist.go
+++ b/core/state/sched/machinelist.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// updateStandby updates the powered-off machines and the size of the largest
-// machine from a list, and returns the machines in it. A machine that an
+// updateStandby updates the powered-off machines, the number of available ones and the
+// size of the largest machine from a list, and returns the machines in it. A machine that an
 // incomplete list lacks stays as it was. An entry whose pool is not configured may have
 // been left by another program, or be older than the configuration: it shows only that
 // the machine may exist.
@@ -75,6 +75,7 @@
 	if !list.Incomplete {
 		clear(f.standby)
 	}
+	f.availableMachines = 0
 	listed := make(map[jobs.MachineID]bool, len(list.Machines))
 	for _, m := range list.Machines {
 		listed[m.ID] = true
@@ -84,6 +85,9 @@
 		if f.maxMilliCores.MilliCores < m.Capacity.MilliCores {
 			f.maxMilliCores = m.Capacity
 		}
+		if m.Available && !standby[m.Pool] {
+			f.availableMachines++
+		}
 		delete(f.standby, m.ID)
 		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Available && !moving {
 			f.standby[m.ID] = m.Pool
--- a/core/state/sched/rebalance.go
+++ b/core/state/sched/rebalance.go
@@ -44,6 +44,9 @@
 	listFailed      bool
 	listRequestedAt clock.Millis
 	listedAt        clock.Millis
+	// availableMachines is the number of machines in the latest list that were
+	// available in a pool that is not a standby pool.
+	availableMachines int
 	// finiteWorkSeen caches a positive result of the method of the same name.
 	finiteWorkSeen bool
 	// nextRebalance is the time of the next check of the pools' load, and
@@ -73,7 +76,7 @@
 // is designed for pools whose loads rise, one after the other, to several times
 // their mean for some seconds, and for moves that take about 1.5 seconds.
 func (s *Scheduler[P, H]) rebalance(now clock.Millis) {
-	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance || now < s.termStart+s.settings.TakeoverDelayMillis {
+	if s.settings.BacklogTargetMillis == 0 || now < s.fleet.nextRebalance {
 		return
 	}
 	s.fleet.nextRebalance = now + rebalancePeriodMillis
@@ -84,7 +87,7 @@
 		s.setVacating(nil)
 		return
 	}
-	if !s.refreshMachineList(now) {
+	if !s.refreshMachineList(now) || !s.isSettled(now) {
 		return
 	}
 	loads := s.updatePoolLoads(now)
@@ -143,7 +146,7 @@
 // moved yet are skipped. It returns false if there is no such machine.
 func (s *Scheduler[P, H]) moveMachineTo(target *poolLoad, loads []*poolLoad, now clock.Millis) bool {
 	for _, m := range slices.Sorted(maps.Keys(s.fleet.standby)) {
-		if s.fleet.notMovableUntil[m] <= now && !s.mayBeDown(m) {
+		if s.fleet.notMovableUntil[m] <= now && !s.mayBeDown(m) && s.mayOrder(m, now) {
 			delete(s.fleet.standby, m)
 			s.orderMove(m, 0, target, now)
 			return true
@@ -155,7 +158,7 @@
 			continue
 		}
 		for k, w := range from.idle {
-			if s.fleet.notMovableUntil[w.machine] > now || w.machine == "" {
+			if s.fleet.notMovableUntil[w.machine] > now || w.machine == "" || !s.mayOrder(w.machine, now) {
 				continue
 			}
 			from.idle = slices.Delete(from.idle, k, k+1)
@@ -203,7 +206,7 @@
 	target := &poolLoad{name: standby}
 	for _, load := range loads {
 		for _, w := range load.idle {
-			if w.goingDown || w.machine == "" || load.machines-load.needed <= s.settings.ReserveMachines || now-w.idleSince < s.settings.IdleMillis || s.fleet.notMovableUntil[w.machine] > now {
+			if w.goingDown || w.machine == "" || load.machines-load.needed <= s.settings.ReserveMachines || now-w.idleSince < s.settings.IdleMillis || s.fleet.notMovableUntil[w.machine] > now || !s.mayOrder(w.machine, now) {
 				continue
 			}
 			load.machines--
@@ -227,6 +230,7 @@
 // for none.
 func (s *Scheduler[P, H]) orderMove(m jobs.MachineID, incarnation jobs.Incarnation, to *poolLoad, now clock.Millis) {
 	to.machines++
+	s.apply(jobs.Op{Kind: jobs.OpMoveOrdered, Machine: m, Pool: to.name, Incarnation: incarnation}, now)
 	s.fleet.moves[m] = machineMove{to: to.name, incarnation: incarnation, orderedAt: now}
 	s.updateGoingDown(m)
 	s.plan.Actions = append(s.plan.Actions, Action{Kind: ActionMove, Machine: m, Pool: to.name})
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -57,6 +57,7 @@
 	// absences holds the machines of waves that may no longer exist.
 	absences map[jobs.MachineID]*absence
 	fleet    machineFleet
+	takeover takeover
 	// pending holds the jobs without a schedule that have not ended and of which
 	// no task is known to have started on a worker.
 	pending map[jobs.ID]*jobs.Record
@@ -217,11 +218,17 @@
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
 	}
 	s.readConfig()
+	s.takeover = newTakeover(state, max(settings.TakeoverDelayMillis, 2*settings.MaintenanceMillis))
+	s.restoreMoves(now)
 	for _, rec := range state.Jobs {
 		s.restoreJob(rec, now)
 	}
+	for _, p := range s.pools {
+		// The restored work has not just arrived.
+		p.newMilliCoreMillis = 0
+	}
 	for number := range state.Waves {
-		s.waves[number] = newWave(state.Waves[number])
+		s.waves[number] = newWave(state.Waves[number], s.takeover.inherited)
 	}
 	return s
 }
--- /dev/null
+++ b/core/state/sched/takeover.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+)
+
+// heardPercent is the share of the available machines whose workers must have sent a
+// heartbeat before a new leader orders moves or maintenance. A pool whose workers are not
+// heard yet looks smaller than it is.
+const heardPercent = 90
+
+// clockMarginMillis is the error of the age of an order, because the leader's clock may
+// have been set between the order and the latest change of the state.
+const clockMarginMillis = 3 * clock.Second
+
+// takeover holds what a new leader needs to know before it gives orders for machines. It
+// answers a load that changes while the leader does: without orders, no machine reaches a
+// pool whose peak has begun.
+type takeover struct {
+	// inherited holds the machines for which earlier leaders may have given orders
+	// lately, and those of which they may give some that are still in flight.
+	inherited map[jobs.MachineID]bool
+	// settled caches a positive result of isSettled.
+	settled bool
+}
+
+// newTakeover returns the takeover from the leader that has left the given state. An order
+// is committed before it is sent, so the state has all of them. effect is how long an order
+// may have an effect: this leader waits for TakeoverDelayMillis before it gives an order for
+// the same machine, and the machine may be down.
+func newTakeover(state *jobs.State, effect clock.Millis) takeover {
+	t := takeover{inherited: map[jobs.MachineID]bool{}}
+	for _, o := range state.MachineOrders {
+		if state.Time-o.At <= effect+clockMarginMillis {
+			t.inherited[o.Machine] = true
+		}
+	}
+	for _, w := range state.Waves {
+		for m := range w.Ordered {
+			if !w.Started[m] {
+				t.inherited[m] = true
+			}
+		}
+	}
+	return t
+}
+
+// isSettled reports whether this leader may give orders for machines that no earlier leader
+// has given orders for: it has heard most workers, or has waited for TakeoverDelayMillis.
+func (s *Scheduler[P, H]) isSettled(now clock.Millis) bool {
+	t := &s.takeover
+	if t.settled {
+		return true
+	}
+	if now >= s.termStart+s.settings.TakeoverDelayMillis {
+		t.settled = true
+		return true
+	}
+	if s.fleet.listedAt == 0 {
+		return false
+	}
+	heard := 0
+	for _, w := range s.workers {
+		if w.reported {
+			heard++
+		}
+	}
+	t.settled = heard*100 >= s.fleet.availableMachines*heardPercent
+	return t.settled
+}
+
+// mayOrder reports whether this leader may order the maintenance or a move of a machine.
+// Two leaders must not give orders for one machine in turn within TakeoverDelayMillis.
+func (s *Scheduler[P, H]) mayOrder(m jobs.MachineID, now clock.Millis) bool {
+	return now >= s.termStart+s.settings.TakeoverDelayMillis || (s.isSettled(now) && !s.takeover.inherited[m])
+}
+
+// mayHideWorker reports whether a machine without a known worker may run one: a worker of
+// an earlier term has not been heard, and its lease has not ended. Its machine is unknown.
+func (s *Scheduler[P, H]) mayHideWorker(now clock.Millis) bool {
+	if now > s.termStart+s.maxLease() {
+		return false
+	}
+	for _, w := range s.workers {
+		if !w.reported && w.leaseUntil >= now {
+			return true
+		}
+	}
+	return false
+}
+
+// restoreMoves adds the moves of an earlier leader that may be in progress.
+func (s *Scheduler[P, H]) restoreMoves(now clock.Millis) {
+	for _, o := range s.State.MachineOrders {
+		age := s.State.Time - o.At
+		if o.Pool == "" || age > 2*s.settings.MoveMillis {
+			delete(s.fleet.moves, o.Machine)
+			continue
+		}
+		s.fleet.moves[o.Machine] = machineMove{to: o.Pool, incarnation: o.Incarnation, orderedAt: now - age}
+	}
+}
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -30,8 +30,8 @@
 	// reply that is too large. The first order is sent in any case.
 	MaxStartBytes int
 	// TakeoverDelayMillis is how long a new leader waits before it orders
-	// maintenance or moves, so that it and the previous leader do not order
-	// them for the same machine in turn.
+	// maintenance or moves of machines for which an earlier leader has given orders
+	// lately, so that the two do not give orders for one machine in turn.
 	TakeoverDelayMillis clock.Millis
 	// MaintenanceMillis is how long the maintenance of a machine takes.
 	MaintenanceMillis clock.Millis
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -77,14 +77,17 @@
 	backAt clock.Millis
 }
 
-func newWave(w *jobs.Wave) *wave {
+// newWave returns the progress of a wave in a new term. inherited holds the machines for
+// which an earlier leader may have given orders lately.
+func newWave(w *jobs.Wave, inherited map[jobs.MachineID]bool) *wave {
 	v := &wave{
 		Wave: w, down: map[jobs.MachineID]downtime{}, next: map[jobs.MachineID]bool{}, nextOrder: map[jobs.MachineID]clock.Millis{},
 		blockages: map[jobs.MachineID]blockage{}, pending: map[jobs.MachineID]bool{}, repeated: map[jobs.MachineID]bool{}, refusals: map[jobs.MachineID]int{},
 	}
-	// Machines whose maintenance an earlier leader ordered may be down now.
 	for m := range w.Ordered {
-		v.down[m] = downtime{}
+		if inherited[m] {
+			v.down[m] = downtime{}
+		}
 	}
 	return v
 }
@@ -100,7 +103,7 @@
 	w.Deadline += w.DeclaredAt
 	w.MaxDown = max(w.MaxDown, 1)
 	s.apply(jobs.Op{Kind: jobs.OpDeclareWave, WaveNumber: w.Number, Wave: &w}, now)
-	s.waves[w.Number] = newWave(s.State.Waves[w.Number])
+	s.waves[w.Number] = newWave(s.State.Waves[w.Number], nil)
 	return true
 }
 
@@ -115,7 +118,7 @@
 	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
 		v := s.waves[n]
 		s.clearReturned(v, now)
-		if v.isComplete() || now < s.termStart+s.settings.TakeoverDelayMillis {
+		if v.isComplete() || !s.isSettled(now) {
 			continue
 		}
 		s.endAbsences(v, now)
@@ -178,12 +181,12 @@
 		return cmp.Compare(s.disruptionCost(x), s.disruptionCost(y))
 	})
 	toOrder, toCordon := parallel-len(v.down), parallel
-	next := map[jobs.MachineID]bool{}
+	next, hidden := map[jobs.MachineID]bool{}, s.mayHideWorker(now)
 	for _, m := range remaining {
 		w := s.workerByMachine[m]
 		_, isDown := v.down[m]
 		switch {
-		case v.nextOrder[m] > now || s.beingMoved(m, now):
+		case v.nextOrder[m] > now || s.beingMoved(m, now) || !s.mayOrder(m, now) || (w == nil && hidden):
 			next[m] = v.next[m] && s.mayCordon(v, m, w, now)
 		case isDown && len(v.down) > v.MaxDown:
 			// An earlier leader gave orders for more than MaxDown machines,
@@ -386,6 +389,9 @@
 func (s *Scheduler[P, H]) nextWaveCheckDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range s.waves {
 		if !v.isComplete() {
+			if s.isSettled(s.now) {
+				return s.nextWaveCheck, true
+			}
 			return max(s.nextWaveCheck, s.termStart+s.settings.TakeoverDelayMillis), true
 		}
 	}
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -119,7 +119,7 @@
 	w := &wirepb.JobOp{
 		Kind: int32(o.Kind), Run: int64(o.Run), Worker: validUTF8(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
 		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: validUTF8(o.Machine),
-		Customer: validUTF8(o.Customer),
+		Pool: validUTF8(o.Pool), Customer: validUTF8(o.Customer),
 	}
 	if o.Task != (jobs.TaskID{}) {
 		w.Task = taskIDToWire(o.Task)
@@ -141,7 +141,7 @@
 // job is not valid. If the kind requires a configuration or a wave and the message
 // has none, the operation has an empty one.
 func JobOpFromWire(w *wirepb.JobOp) (jobs.Op, error) {
-	if w.GetKind() < 0 || w.GetKind() > int32(jobs.OpMaintenanceStarted) {
+	if w.GetKind() < 0 || w.GetKind() > int32(jobs.LastOpKind) {
 		return jobs.Op{}, jobError(KindRange, "operation has the undefined kind %d", w.GetKind())
 	}
 	if w.GetHow() < 0 || w.GetHow() > int32(jobs.ResultLost) {
@@ -151,7 +151,7 @@
 		Kind: jobs.OpKind(w.GetKind()), Task: taskIDFromWire(w.GetTask()), Run: int(w.GetRun()),
 		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Result: jobs.Result(w.GetHow()),
 		Checkpoint: string(w.GetSaved()), WaveNumber: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
-		Customer: jobs.CustomerName(w.GetCustomer()),
+		Pool: jobs.PoolName(w.GetPool()), Customer: jobs.CustomerName(w.GetCustomer()),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -37,12 +37,12 @@
 // anyOp generates an operation on the replicated job state.
 func anyOp(t *rapid.T) jobs.Op {
 	o := jobs.Op{
-		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.OpMaintenanceStarted)).Draw(t, "op")),
+		Kind: jobs.OpKind(rapid.IntRange(0, int(jobs.LastOpKind)).Draw(t, "op")),
 		Task: jobs.TaskID{Job: anyJobID(t), Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 1).Draw(t, "index")},
 		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Incarnation: 7,
 		Result: jobs.Result(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
 		WaveNumber: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
-		Customer: anyCustomer(t),
+		Pool: "p", Customer: anyCustomer(t),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
--- a/io/proto/codec/jobstate.go
+++ b/io/proto/codec/jobstate.go
@@ -92,11 +92,23 @@
 	return v
 }
 
+func machineOrderToWire(o jobs.MachineOrder) *wirepb.JobMachineOrder {
+	return &wirepb.JobMachineOrder{Machine: validUTF8(o.Machine), Pool: validUTF8(o.Pool), Life: int64(o.Incarnation), AtMs: int64(o.At)}
+}
+
+func machineOrderFromWire(w *wirepb.JobMachineOrder) jobs.MachineOrder {
+	return jobs.MachineOrder{
+		Machine: jobs.MachineID(w.GetMachine()), Pool: jobs.PoolName(w.GetPool()),
+		Incarnation: jobs.Incarnation(w.GetLife()), At: clock.Millis(w.GetAtMs()),
+	}
+}
+
 // JobStateToWire converts the replicated job state to its message. Jobs are sorted
 // by id and waves by number, so that equal states give equal messages.
 func JobStateToWire(s *jobs.State) *wirepb.JobsSnapshot {
 	w := &wirepb.JobsSnapshot{
 		TimeMs: int64(s.Time), Seq: s.Seq, Config: jobConfigToWire(s.Config), Ended: mapAll(s.EndedJobs, validUTF8),
+		MachineOrders: mapAll(s.MachineOrders, machineOrderToWire),
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
 		w.Records = append(w.Records, jobRecordToWire(s.Jobs[id]))
@@ -143,6 +155,7 @@
 	s := jobs.New()
 	s.Time, s.Seq = clock.Millis(w.GetTimeMs()), w.GetSeq()
 	s.Config = jobConfigFromWire(w.GetConfig())
+	s.MachineOrders = mapAll(w.GetMachineOrders(), machineOrderFromWire)
 	for _, id := range w.GetEnded() {
 		s.EndedJobs = append(s.EndedJobs, jobs.ID(id))
 	}
