Log when a new leader has taken over, and use machines that it finds in standby

Cause: a move to the standby pool by an earlier leader counted as in progress until the next list, 20 s later, so that the machine was missing in a peak; and no line said when a new leader begins to move machines.

Change: a list that shows a machine in the standby pool ends its move there. takeover-settled says how many workers were heard.

--- a/core/state/sched/machinelist.go
+++ b/core/state/sched/machinelist.go
@@ -89,7 +89,17 @@
 			f.availableMachines++
 		}
 		delete(f.standby, m.ID)
-		if _, moving := f.moves[m.ID]; standby[m.Pool] && m.Available && !moving {
+		if !standby[m.Pool] || !m.Available {
+			continue
+		}
+		move, moving := f.moves[m.ID]
+		if moving && move.to == m.Pool {
+			// The answer to the order was lost, or an earlier leader got it.
+			delete(f.moves, m.ID)
+			s.updateGoingDown(m.ID)
+			moving = false
+		}
+		if !moving {
 			f.standby[m.ID] = m.Pool
 		}
 	}
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -26,6 +26,7 @@
 	DecisionMachineMoved        Decision = "machine-moved"
 	DecisionMachineNotMoved     Decision = "machine-not-moved"
 	DecisionListFailed          Decision = "machines-not-listed"
+	DecisionTakeoverSettled     Decision = "takeover-settled"
 	DecisionMaintenanceOrdered  Decision = "maintenance-ordered"
 	DecisionMaintenanceAnswered Decision = "maintenance-answered"
 	DecisionMaintenanceDropped  Decision = "maintenance-dropped"
@@ -40,7 +41,7 @@
 // explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionCancelRecorded, DecisionSubmissionLate, DecisionStarted, DecisionEnded, DecisionStopped, DecisionStartsDeferred,
-	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
+	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionTakeoverSettled, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionLeaderLoad, DecisionStateLoaded, DecisionStateDiscarded,
 }
 
--- a/core/state/sched/takeover.go
+++ b/core/state/sched/takeover.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"fmt"
+
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
 )
@@ -67,6 +69,10 @@
 		}
 	}
 	t.settled = heard*100 >= s.fleet.availableMachines*heardPercent
+	if t.settled {
+		s.noteFleet(DecisionTakeoverSettled, fmt.Sprintf("%d of %d workers heard, list of machines received after %d ms, %d machines with recent orders wait",
+			heard, s.fleet.availableMachines, s.fleet.listedAt-s.termStart, len(t.inherited)))
+	}
 	return t.settled
 }
 
--- a/core/state/sched/takeover_test.go
+++ b/core/state/sched/takeover_test.go
@@ -146,3 +146,16 @@
 	assert.Assert(t, down)
 	assert.Equal(t, len(next.waves[1].down), 1)
 }
+
+// TestNewLeaderUsesReturnedMachines guards against a machine that an earlier leader has moved
+// to the standby pool and that its successor counts as on its way until the next list.
+func TestNewLeaderUsesReturnedMachines(t *testing.T) {
+	f := newFixture(Defaults())
+	f.apply(jobs.Op{Kind: jobs.OpMoveOrdered, Machine: "s1", Pool: "off"}, f.now)
+	next := f.nextLeader()
+	assert.Equal(t, next.fleet.moves["s1"].to, jobs.PoolName("off"))
+	next.heartbeat("w1", 1, nil)
+	next.answerList(t, next.Pass(next.now), standbyMachines...)
+	assert.Equal(t, len(next.fleet.moves), 0)
+	assert.Equal(t, next.fleet.standby["s1"], jobs.PoolName("off"))
+}
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -389,7 +389,7 @@
 func (s *Scheduler[P, H]) nextWaveCheckDue(now clock.Millis) (clock.Millis, bool) {
 	for _, v := range s.waves {
 		if !v.isComplete() {
-			if s.isSettled(s.now) {
+			if s.takeover.settled {
 				return s.nextWaveCheck, true
 			}
 			return max(s.nextWaveCheck, s.termStart+s.settings.TakeoverDelayMillis), true
