Accept the end of a task that its worker could not report in time

Cause: a zone is cut off, a task on one of its workers completes, and the lease ends before the worker can report it. The leader starts the task once more, for its whole duration, and ignores the end when the worker returns.

Change: the scheduler remembers the runs of its term that ended as lost with the lease of their worker. When the worker reports one of them as done, the task is done, and a later run of it is stopped. Only runs that were assigned to this incarnation of the worker count; gangs and long-running tasks are left out.

--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -334,6 +334,10 @@
 		return
 	}
 	t := r.Task(op.Task)
+	if op.Late {
+		s.completeLate(r, t, op)
+		return
+	}
 	if t == nil || t.Phase != PhaseAssigned || t.Run != op.Run {
 		return
 	}
@@ -356,6 +360,15 @@
 	}
 }
 
+// completeLate completes a task whose run number op.Run was lost. A later run may be assigned.
+func (s *State) completeLate(r *Record, t *TaskState, op *Op) {
+	if t == nil || t.Phase == PhaseDone || op.Run > t.Run || r.Status.Final() {
+		return
+	}
+	t.Worker, t.Incarnation = "", 0
+	s.completeTask(r, op.Task)
+}
+
 // completeTask marks a task as done and updates the counts of its step,
 // occurrence and job; the job ends when its last task is done. When one task of
 // a gang is done, all of them are.
--- a/core/state/jobs/types.go
+++ b/core/state/jobs/types.go
@@ -395,7 +395,8 @@
 	OpCancel
 	// OpAssign assigns Task to Incarnation of Worker as run number Run.
 	OpAssign
-	// OpEnd ends run number Run of Task with Result and Checkpoint.
+	// OpEnd ends run number Run of Task with Result and Checkpoint. If Late is set, the
+	// run has ended as lost before, and its result completes the task all the same.
 	OpEnd
 	// OpConfig makes Config the current configuration.
 	OpConfig
@@ -423,6 +424,7 @@
 	Worker      WorkerID
 	Incarnation Incarnation
 	Result      Result
+	Late        bool
 	Checkpoint  string
 	WaveNumber  int
 	Machine     MachineID
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -138,6 +138,7 @@
 		ack = max(ack, e.Number)
 		r := w.runs[e.Task]
 		if r == nil || r.number != e.Run {
+			s.acceptLateEnd(w, e, now)
 			continue
 		}
 		s.endRun(w, r, e.Result, e.Checkpoint, now)
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -44,6 +44,7 @@
 			continue
 		}
 		runs := sortedTaskIDs(w.runs)
+		s.noteExpired(w)
 		s.loseRuns(w, "the worker's lease ended", now)
 		for _, t := range runs {
 			s.setAway(t, max(w.heardAt, s.termStart))
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -28,6 +28,9 @@
 	// avoided holds the workers that tasks are kept off because of how their runs
 	// ended there; an entry may have expired.
 	avoided map[jobs.TaskID][]avoidedWorker
+	// expiredRuns holds the runs of this term that ended as lost with the lease of their
+	// worker, of the jobs that have not ended.
+	expiredRuns map[jobs.TaskID][]expiredRun
 	// failures holds the failures of the jobs that have not ended.
 	failures map[jobs.ID]*jobFailures
 	pools    map[jobs.PoolName]*pool
@@ -214,7 +217,7 @@
 		workers: map[jobs.WorkerID]*worker{}, workerByMachine: map[jobs.MachineID]*worker{},
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, maintenanceDue: map[jobs.MachineID]bool{}, absences: map[jobs.MachineID]*absence{},
 		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{},
-		avoided: map[jobs.TaskID][]avoidedWorker{}, failures: map[jobs.ID]*jobFailures{},
+		avoided: map[jobs.TaskID][]avoidedWorker{}, expiredRuns: map[jobs.TaskID][]expiredRun{}, failures: map[jobs.ID]*jobFailures{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
 	}
 	s.readConfig()
@@ -367,6 +370,7 @@
 	runs, failures := 0, 0
 	for id, state := range rec.Tasks() {
 		delete(s.avoided, id)
+		delete(s.expiredRuns, id)
 		runs += state.Run
 		if id.Index == 0 {
 			failures += rec.Failures(id.Occurrence, id.Step)
--- a/io/proto/codec/job.go
+++ b/io/proto/codec/job.go
@@ -119,7 +119,7 @@
 	w := &wirepb.JobOp{
 		Kind: int32(o.Kind), Run: int64(o.Run), Worker: validUTF8(o.Worker), Life: int64(o.Incarnation), How: int32(o.Result),
 		Saved: []byte(o.Checkpoint), Number: int64(o.WaveNumber), Machine: validUTF8(o.Machine),
-		Pool: validUTF8(o.Pool), Customer: validUTF8(o.Customer),
+		Late: o.Late, Pool: validUTF8(o.Pool), Customer: validUTF8(o.Customer),
 	}
 	if o.Task != (jobs.TaskID{}) {
 		w.Task = taskIDToWire(o.Task)
@@ -151,7 +151,7 @@
 		Kind: jobs.OpKind(w.GetKind()), Task: taskIDFromWire(w.GetTask()), Run: int(w.GetRun()),
 		Worker: jobs.WorkerID(w.GetWorker()), Incarnation: jobs.Incarnation(w.GetLife()), Result: jobs.Result(w.GetHow()),
 		Checkpoint: string(w.GetSaved()), WaveNumber: int(w.GetNumber()), Machine: jobs.MachineID(w.GetMachine()),
-		Pool: jobs.PoolName(w.GetPool()), Customer: jobs.CustomerName(w.GetCustomer()),
+		Late: w.GetLate(), Pool: jobs.PoolName(w.GetPool()), Customer: jobs.CustomerName(w.GetCustomer()),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
--- a/io/proto/codec/job_test.go
+++ b/io/proto/codec/job_test.go
@@ -42,7 +42,7 @@
 		Run:  rapid.IntRange(1, 3).Draw(t, "run"), Worker: "w", Incarnation: 7,
 		Result: jobs.Result(rapid.IntRange(0, int(jobs.ResultLost)).Draw(t, "how")), Checkpoint: "\xfe",
 		WaveNumber: 1, Machine: jobs.MachineID(rapid.SampledFrom([]string{"m1", "m2"}).Draw(t, "machine")),
-		Pool: "p", Customer: anyCustomer(t),
+		Late: rapid.Bool().Draw(t, "late"), Pool: "p", Customer: anyCustomer(t),
 	}
 	switch o.Kind {
 	case jobs.OpSubmit:
