Count throttled and reserved tasks in full against their customer's quota

Cause: a throttled task gave up half of what it counted against its customer's quota, and a task for which capacity was being freed counted nothing. The customer could start another task meanwhile, and neither restoreThrottled nor advanceReservation checked the quota: 24,000 milli-cores used of a quota of 16,000 in both.

Change: each task has an amount that it counts against the quota. It stays at the full size while the task is throttled, and is set when the reservation is made. The end of the throttling takes a size that was learned meanwhile only as far as the quota allows. A reservation ends without a start if the quota was lowered below it, so that the capacity does not stay idle. A report of usage no longer lowers the reservation of a running task when its quota was lowered below what the customer uses.

The property tests recount what each customer holds after each pass.

--- a/core/state/place/customer.go
+++ b/core/state/place/customer.go
@@ -12,7 +12,7 @@
 // budget.
 type customerState struct {
 	contract model.Contract
-	// used is the sum of what its running tasks have reserved.
+	// used is the sum of what its tasks count against the quota.
 	used Size
 	// waiting may also hold tasks that no longer wait, such as cancelled ones;
 	// firstWaiting removes them when they reach the top.
@@ -85,6 +85,12 @@
 	return max(share(cs.used.MilliCores, q.MilliCores), share(cs.used.MemoryMiB, q.MemoryMiB), share(cs.used.Accelerators, q.Accelerators))
 }
 
+// hasRoom reports whether the quota has room for a task of the given size, in place of
+// what the task counts now.
+func (cs *customerState) hasRoom(t *task, need Size) bool {
+	return cs.used.Minus(t.charged).Plus(need).FitsIn(cs.contract.Quota)
+}
+
 // setDisrupted sets whether a task is disrupted and updates the customer's
 // count.
 func (cs *customerState) setDisrupted(t *task, on bool) {
--- a/core/state/place/pass.go
+++ b/core/state/place/pass.go
@@ -57,11 +57,14 @@
 }
 
 // advanceReservation starts the task for which capacity is being freed on a
-// worker as soon as it fits. It cancels the reservation if the worker is draining
-// or no task on it is stopping any more.
+// worker as soon as it fits. It cancels the reservation if the worker is draining,
+// if no task on it is stopping any more, or if the customer's quota, which may have
+// been lowered, has no room for the task: the capacity would stay idle.
 func (p *Placer[F, S, J]) advanceReservation(w *worker, now clock.Millis) {
 	t := w.reservedFor
 	switch {
+	case !p.customers[t.Customer].hasRoom(t, p.sizeToReserve(t.Task)):
+		p.cancelReservation(w)
 	case !w.Draining && p.usable(w, now) && p.sizeToReserve(t.Task).FitsIn(w.Size.Minus(w.used)):
 		p.cancelReservation(w)
 		p.start(t, w, now)
@@ -236,7 +239,7 @@
 // waitReason.
 func (p *Placer[F, S, J]) tryStart(customer *customerState, t *task, now clock.Millis, misfits *[]Size) bool {
 	need := p.sizeToReserve(t.Task)
-	if !customer.used.Plus(need).FitsIn(customer.contract.Quota) {
+	if !customer.hasRoom(t, need) {
 		customer.waitReason = WaitQuota
 		return false
 	}
--- a/core/state/place/place_test.go
+++ b/core/state/place/place_test.go
@@ -106,6 +106,7 @@
 				}
 			}
 			audit.check(t, tasks, contracts, placer.settings, plan, f.now)
+			checkQuotas(t, placer)
 			for _, x := range plan.Actions {
 				if customer := tasks[x.Task].Customer; x.Kind == ActionStart && x.Size.MilliCores > contracts[customer].Quota.MilliCores {
 					t.Fatalf("%v exceeds the quota of %s", x, customer)
@@ -153,6 +154,7 @@
 			if used := placer.customers["team0"].used.MilliCores; used > quota {
 				t.Fatalf("customer team0 uses %d milli-cores; its quota is %d", used, quota)
 			}
+			checkQuotas(t, placer)
 			Execute(f, plan.Actions)
 			advanceTime(f, placer, 500)
 		}
--- a/core/state/place/placer.go
+++ b/core/state/place/placer.go
@@ -81,10 +81,14 @@
 // task is a Task with its scheduling state.
 type task struct {
 	Task
-	phase      Phase
-	attempt    int
-	worker     *worker
-	reserved   Size
+	phase    Phase
+	attempt  int
+	worker   *worker
+	reserved Size
+	// charged is what counts against its customer's quota: what the task has
+	// reserved; for a throttled task, what it gets back when the throttling ends;
+	// for a waiting task for which capacity is being freed, what it will reserve.
+	charged    Size
 	cpuPercent int
 	startedAt  clock.Millis
 	// leaseEnd is the end of the lease under which the start was sent.
@@ -307,18 +311,39 @@
 	}
 	// The reservation grows at most until the customer's quota is used up; the
 	// platform confines the task to the quota.
+	p.resize(t, p.sizeWithinQuota(t, componentMax(used, p.sizeToReserve(t.Task))))
+}
+
+// charge sets what a task counts against its customer's quota. The caller unblocks the
+// customer if that is less than before.
+func (p *Placer[F, S, J]) charge(t *task, to Size) {
 	customer := p.customers[t.Customer]
-	available := customer.contract.Quota.Minus(customer.used).Plus(t.reserved)
-	p.resize(t, componentMax(Size{}, componentMin(componentMax(used, p.sizeToReserve(t.Task)), available)))
+	customer.used = customer.used.Minus(t.charged).Plus(to)
+	t.charged = to
 }
 
-// resize changes what a task on a worker has reserved.
+// sizeWithinQuota returns how much of the wanted size a task on a worker may have: as much
+// as its customer's quota allows, but not less than the task counts already, because a
+// lowered quota takes nothing away from tasks that run.
+func (p *Placer[F, S, J]) sizeWithinQuota(t *task, want Size) Size {
+	customer := p.customers[t.Customer]
+	available := customer.contract.Quota.Minus(customer.used).Plus(t.charged)
+	return componentMin(want, componentMax(t.charged, available))
+}
+
+// resize changes what a task on a worker has reserved, and charges its customer with it.
 func (p *Placer[F, S, J]) resize(t *task, to Size) {
-	w, customer := t.worker, p.customers[t.Customer]
-	w.used, customer.used = w.used.Minus(t.reserved), customer.used.Minus(t.reserved)
+	p.charge(t, to)
+	p.setReserved(t, to)
+}
+
+// setReserved changes what a task on a worker has reserved, but not what counts against
+// its customer's quota.
+func (p *Placer[F, S, J]) setReserved(t *task, to Size) {
+	w := t.worker
 	shrinks := to.FitsIn(t.reserved) && to != t.reserved
+	w.used = w.used.Minus(t.reserved).Plus(to)
 	t.reserved = to
-	w.used, customer.used = w.used.Plus(t.reserved), customer.used.Plus(t.reserved)
 	p.refreshWorker(w)
 	if shrinks {
 		p.unblockCustomers()
--- a/core/state/place/relief.go
+++ b/core/state/place/relief.go
@@ -50,6 +50,9 @@
 		return false
 	}
 	best.reservedFor, t.reservedOn = t, best
+	// The task starts once the capacity is free. Its customer must not start other
+	// tasks with the same quota until then.
+	p.charge(t, need)
 	p.reservedWorkers[best.ID] = true
 	p.disrupt(victims, now, "capacity is freed for urgent task "+string(t.ID))
 	p.updateIndex(best)
@@ -180,7 +183,9 @@
 		}
 		gain, _ := p.gainAndCost(v.task, v.kind, now)
 		v.task.cpuPercent = throttledPercent
-		p.resize(v.task, v.task.reserved.Minus(gain))
+		// The quota stays charged in full, so that it has room for the full size when
+		// the throttling ends.
+		p.setReserved(v.task, v.task.reserved.Minus(gain))
 		p.sendThrottle(v.task, reason)
 	}
 }
@@ -192,8 +197,9 @@
 	})
 }
 
-// restoreThrottled gives throttled tasks their full size back where it fits again.
-// It skips workers that are reserved for a task.
+// restoreThrottled gives throttled tasks their full size back where it fits again. A
+// size that was learned meanwhile counts as far as the customer's quota allows. It skips
+// workers that are reserved for a task.
 func (p *Placer[F, S, J]) restoreThrottled() {
 	for _, id := range sortedKeys(p.throttled) {
 		w := p.workers[id]
@@ -202,7 +208,7 @@
 		}
 		for _, tid := range sortedKeys(w.tasks) {
 			t := w.tasks[tid]
-			full := p.sizeToReserve(t.Task)
+			full := p.sizeWithinQuota(t, p.sizeToReserve(t.Task))
 			if t.cpuPercent == 100 || t.phase != PhaseRunning || !full.Minus(t.reserved).FitsIn(w.Size.Minus(w.used)) {
 				continue
 			}
--- a/core/state/place/run_end.go
+++ b/core/state/place/run_end.go
@@ -53,9 +53,10 @@
 
 // detach removes a task from its worker and releases what it had reserved.
 func (p *Placer[F, S, J]) detach(t *task) {
-	w, customer := t.worker, p.customers[t.Customer]
+	w := t.worker
 	delete(w.tasks, t.ID)
-	w.used, customer.used = w.used.Minus(t.reserved), customer.used.Minus(t.reserved)
+	w.used = w.used.Minus(t.reserved)
+	p.charge(t, Size{})
 	t.worker, t.reserved, t.cpuPercent, t.pendingAction = nil, Size{}, 100, Action{}
 	p.refreshWorker(w)
 	p.unblockCustomers()
@@ -154,6 +155,8 @@
 	t := w.reservedFor
 	w.reservedFor, t.reservedOn = nil, nil
 	delete(p.reservedWorkers, w.ID)
+	p.charge(t, Size{})
+	p.customers[t.Customer].blocked = false
 	p.updateIndex(w)
 	if t.phase == PhaseWaiting {
 		p.customers[t.Customer].push(t)
