List the customers of the job service, and show metrics by customer

Change: the call CallCustomers lists name, weight, quota, what the customer's runs hold, its waiting tasks, and the calls with its key for a job of another customer, next to the number of calls without a key of a customer. The command 'job customers' prints it. The counter of unauthorized calls is divided into unknown keys and foreign jobs. The bound of kinds that CallFromWire accepts, and its test, follow the new last kind.

--- a/core/coord/runner/commit.go
+++ b/core/coord/runner/commit.go
@@ -148,6 +148,7 @@
 	case b.load:
 		r.scheduler = sched.New(r.settings, r.rank, r.health, b.state, now)
 		r.generation++
+		r.forgetCustomers()
 		r.noteLoadedState(b, now)
 	case suspended:
 		r.confirmAgain(b)
--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -93,9 +93,6 @@
 		// a later leader may have accepted it.
 		r.next.confirm = true
 	}
-	if a.Kind == AnswerUnauthorized {
-		r.counts.UnauthorizedCalls++
-	}
 	if c.Kind == CallGetConfig || c.Kind == CallGetWave {
 		r.next.confirm = true
 	}
@@ -133,6 +130,7 @@
 			}
 		}
 		r.scheduler.Configure(c.Config, now)
+		r.forgetCustomers()
 		return Answer{ConfigVersion: s.Config.Version}
 	case CallGetConfig:
 		if s.Config.Version == 0 {
@@ -163,6 +161,8 @@
 	case CallList:
 		summaries, total := r.scheduler.List(maxListedJobs)
 		return Answer{Jobs: summaries, Count: total}
+	case CallCustomers:
+		return r.listCustomers()
 	}
 	if c.Queue != "" || c.JobID != "" {
 		return r.decideNamedCall(c, now)
@@ -173,13 +173,14 @@
 	}
 	customer, refusal := r.authorize(c, &q, id)
 	if refusal != "" {
+		r.countUnauthorized(customer)
 		return Answer{Kind: AnswerUnauthorized, Reason: refusal}
 	}
 	return r.decideJobCall(c, &q, jobs.CancelKey{Job: id, Customer: customer}, now)
 }
 
-// authorize returns the customer that makes a call to a queue, empty for a call without
-// an owner, and why the call is refused; empty if it is allowed. A customer may act on
+// authorize returns the customer whose key a call to a queue has, empty for a call without
+// a key of a customer, and why the call is refused; empty if it is allowed. A customer may act on
 // its own jobs only. Jobs without an owner, and those of public queues at the path of
 // their queue, are open to all.
 func (r *Runner[G, M, O, J]) authorize(c *Call, q *jobs.Queue, id jobs.ID) (customer jobs.CustomerName, refusal string) {
@@ -194,7 +195,7 @@
 	if rec == nil || rec.Customer == "" || rec.Customer == customer || (q.Public && q.Name == rec.Queue) {
 		return customer, ""
 	}
-	return "", "the job belongs to another customer"
+	return customer, "the job belongs to another customer"
 }
 
 // decideNamedCall is decideCall for calls that name their queue or job directly.
--- a/core/coord/runner/load.go
+++ b/core/coord/runner/load.go
@@ -32,7 +32,7 @@
 // callNames are the names of the kinds of call in logs.
 var callNames = [...]string{
 	CallSubmit: "submit", CallStatus: "status", CallCancel: "cancel", CallPending: "pending", CallPing: "ping", CallExplain: "explain",
-	CallList: "list", CallConfigure: "configure", CallGetConfig: "get-config", CallDeclareWave: "declare-wave", CallGetWave: "get-wave",
+	CallList: "list", CallCustomers: "customers", CallConfigure: "configure", CallGetConfig: "get-config", CallDeclareWave: "declare-wave", CallGetWave: "get-wave",
 }
 
 // String describes the load for logs.
@@ -47,7 +47,8 @@
 		l.heartbeats, l.oldestHeartbeat, calls.String(), l.refusedCalls, l.oldestCall, l.passes, l.longestPass, l.commits, l.longestCommit)
 }
 
-// noteLoad adds a note on the load of this leader at intervals of loadPeriod.
+// noteLoad adds a note on the load of this leader, and publishes the reports on customers,
+// at intervals of loadPeriod.
 func (r *Runner[G, M, O, J]) noteLoad(now clock.Millis) {
 	if now < r.load.since+loadPeriod {
 		return
@@ -56,4 +57,5 @@
 		r.notes([]sched.Note{{Decision: sched.DecisionLeaderLoad, Reason: fmt.Sprintf("in %d ms: %s", now-r.load.since, &r.load)}})
 	}
 	r.load = load{since: now}
+	r.publishCustomers()
 }
--- a/core/coord/runner/runner.go
+++ b/core/coord/runner/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"sync"
 	"sync/atomic"
 
@@ -107,6 +106,8 @@
 	ended           chan struct{}
 	stopOnce        sync.Once
 	publishedCounts atomic.Pointer[Counts]
+	// publishedCustomers is nil while there are no reports on customers.
+	publishedCustomers atomic.Pointer[[]sched.CustomerReport]
 
 	// The fields below are used by Run's goroutine alone.
 
@@ -138,6 +139,9 @@
 	wakeAt clock.Millis
 	counts Counts
 	load   load
+	// foreignJobCalls holds CustomerStatus.ForeignJobCalls by customer. It has customers
+	// of the configuration in force only.
+	foreignJobCalls map[jobs.CustomerName]int64
 	// handledReports is the buffer of turn.
 	handledReports []input
 }
@@ -256,6 +260,7 @@
 		clock: cfg.Clock, notes: cfg.Notes, observeCommit: cfg.ObserveCommit,
 		in: ring.New[input](ringSize), calls: ring.New[pendingCall](callRingSize), commits: ring.New[*batch](1), actions: ring.New[pendingAction](actionRingSize),
 		done: make(chan struct{}), ended: make(chan struct{}), waiting: map[jobs.WorkerID]waitingHeartbeat{},
+		foreignJobCalls: map[jobs.CustomerName]int64{},
 	}
 	r.publishedCounts.Store(&Counts{})
 	return r
@@ -288,19 +293,6 @@
 	}
 }
 
-func unavailable(reason string) Answer {
-	return Answer{Kind: AnswerUnavailable, RetryAfter: retryAfter, Reason: reason}
-}
-
-// overloaded returns the answer to a call that is refused because of the load. The
-// delay differs between callers, so that they do not return all at once.
-func overloaded(c *Call, reason string) Answer {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(c.Path))
-	_, _ = h.Write([]byte(c.JobID))
-	return Answer{Kind: AnswerOverloaded, RetryAfter: overloadRetryAfter + clock.Millis(h.Sum32())%overloadRetrySpread, Reason: reason}
-}
-
 // Heartbeat passes a worker's heartbeat to the runner and waits for the answer.
 // A returned error is an *Error; it may be of any kind.
 func (r *Runner[G, M, O, J]) Heartbeat(ctx context.Context, h sched.Heartbeat) (HeartbeatReply, error) {
@@ -446,6 +438,7 @@
 		r.noteState(sched.DecisionStateDiscarded, fmt.Sprintf("term %d, load %d: %v", r.term, r.generation, err.Err))
 	}
 	r.scheduler = nil
+	r.publishedCustomers.Store(nil)
 	r.failBatch(&r.next, failf(err.Op, KindNotLeader, "%w", err.Err))
 	r.next = batch{}
 	for id, w := range r.waiting {
--- a/core/coord/runner/types.go
+++ b/core/coord/runner/types.go
@@ -114,6 +114,8 @@
 	CallExplain
 	// CallList lists the jobs that have not ended.
 	CallList
+	// CallCustomers lists the customers of the job service.
+	CallCustomers
 	// CallConfigure puts Config in force.
 	CallConfigure
 	// CallGetConfig returns the configuration in force.
@@ -128,7 +130,7 @@
 // too long. The calls of operators and cancels are few and free the fleet of work.
 func (k CallKind) sheddable() bool {
 	switch k {
-	case CallSubmit, CallStatus, CallPending, CallExplain, CallList:
+	case CallSubmit, CallStatus, CallPending, CallExplain, CallList, CallCustomers:
 		return true
 	}
 	return false
@@ -227,12 +229,17 @@
 	// Status is the status of the job that the call named.
 	Status jobs.Status
 	// Count is the number of pending jobs for CallPending. For CallList it is
-	// the number of all jobs that have not ended; Jobs may hold fewer.
+	// the number of all jobs that have not ended, and for CallCustomers that of all
+	// customers; Jobs and Customers may hold fewer.
 	Count int
 	// Report is set for CallExplain.
 	Report *sched.JobReport
 	// Jobs is set for CallList.
 	Jobs []sched.JobSummary
+	// Customers is set for CallCustomers, sorted by name. UnknownKeyCalls is the counter
+	// Counts.UnknownKeyCalls of the leader for CallCustomers.
+	Customers       []CustomerStatus
+	UnknownKeyCalls int64
 	// ConfigDocument is set for CallGetConfig.
 	ConfigDocument []byte
 	// ConfigVersion is the version in force; set for CallGetConfig and
@@ -275,8 +282,12 @@
 	// too long. Calls includes them.
 	OverloadRefusals int64
 	// UnauthorizedCalls counts the calls that were answered with AnswerUnauthorized.
-	// Calls includes them.
+	// Calls includes them. It is the sum of UnknownKeyCalls, the calls without a key of
+	// a customer, and ForeignJobCalls, the calls with a key of another customer than the
+	// one that their job belongs to.
 	UnauthorizedCalls int64
+	UnknownKeyCalls   int64
+	ForeignJobCalls   int64
 	// StaleSubmissions counts the submissions that were refused because they had been
 	// issued too long ago, and CancelledSubmissions those that came after their
 	// cancel. Calls includes them.
--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -20,13 +20,13 @@
 }
 
 // CallFromWire converts a message to a call about jobs. It returns an error if the
-// kind is not one of CallSubmit to CallList, or if a submitted job is not valid. The
+// kind is not one of CallSubmit to CallCustomers, or if a submitted job is not valid. The
 // kinds for the configuration and for waves are rejected too, because such calls are
 // not sent between processes. The runner later gives a submitted job the ID in the
 // Path or the JobID of the call. The ID in the job itself is not used, but JobFromWire
 // rejects a job in which it is empty.
 func CallFromWire(w *wirepb.WorkCall) (runner.Call, error) {
-	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallList)
+	kind, err := enumFromWire("call", "kind", w.GetKind(), runner.CallCustomers)
 	if err != nil {
 		return runner.Call{}, err
 	}
@@ -46,7 +46,7 @@
 	w := &wirepb.WorkAnswer{
 		Kind: int32(a.Kind), Status: int32(a.Status), Pending: int64(a.Count),
 		RetryAfterMs: int64(a.RetryAfter), Reason: validUTF8(a.Reason), Jobs: mapAll(a.Jobs, jobSummaryToWire),
-		LeaderMs: int64(a.LeaderTime),
+		LeaderMs: int64(a.LeaderTime), Customers: mapAll(a.Customers, customerStatusToWire), UnknownKeyCalls: a.UnknownKeyCalls,
 	}
 	if a.Report != nil {
 		w.Report = jobReportToWire(*a.Report)
@@ -69,7 +69,7 @@
 	a := runner.Answer{
 		Kind: kind, Status: status, Count: int(w.GetPending()),
 		RetryAfter: clock.Millis(w.GetRetryAfterMs()), Reason: w.GetReason(),
-		LeaderTime: clock.Millis(w.GetLeaderMs()),
+		LeaderTime: clock.Millis(w.GetLeaderMs()), Customers: mapAll(w.GetCustomers(), customerStatusFromWire), UnknownKeyCalls: w.GetUnknownKeyCalls(),
 	}
 	for _, wireJob := range w.GetJobs() {
 		summary, err := jobSummaryFromWire(wireJob)
@@ -102,6 +102,23 @@
 	}, err
 }
 
+func customerStatusToWire(c runner.CustomerStatus) *wirepb.CustomerLine {
+	return &wirepb.CustomerLine{
+		Name: validUTF8(c.Name), Configured: c.Configured, WeightPermille: int64(c.WeightPermille), Quota: resourcesToWire(c.Quota),
+		Held: resourcesToWire(c.Held), Waiting: int64(c.WaitingTasks), ForeignJobCalls: c.ForeignJobCalls,
+	}
+}
+
+func customerStatusFromWire(w *wirepb.CustomerLine) runner.CustomerStatus {
+	return runner.CustomerStatus{
+		CustomerReport: sched.CustomerReport{
+			Name: jobs.CustomerName(w.GetName()), Configured: w.GetConfigured(), WeightPermille: int(w.GetWeightPermille()),
+			Quota: resourcesFromWire(w.GetQuota()), Held: resourcesFromWire(w.GetHeld()), WaitingTasks: int(w.GetWaiting()),
+		},
+		ForeignJobCalls: w.GetForeignJobCalls(),
+	}
+}
+
 func jobReportToWire(r sched.JobReport) *wirepb.JobReport {
 	return &wirepb.JobReport{
 		Job: jobSummaryToWire(r.JobSummary), Pool: validUTF8(r.Pool), NowMs: int64(r.Now), EndedMs: int64(r.EndedAt),
--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -19,6 +19,7 @@
 		{Kind: runner.CallSubmit, IssuedAt: 7, Key: "\xff\x01", Host: "h", Path: "/a", Job: jobs.Job{ID: "a", Steps: []jobs.Step{{TaskCount: 1}}}},
 		{Kind: runner.CallExplain, JobID: "a"},
 		{Kind: runner.CallList, Queue: "q"},
+		{Kind: runner.CallCustomers},
 	} {
 		got, err := CallFromWire(CallToWire(c))
 		assert.NilError(t, err)
@@ -28,6 +29,10 @@
 	for _, a := range []runner.Answer{
 		{Kind: runner.AnswerStale, RetryAfter: 500, Reason: "r", LeaderTime: 8},
 		{Status: jobs.StatusRunning, Count: 3, Jobs: []sched.JobSummary{summary}},
+		{Count: 2, UnknownKeyCalls: 7, Customers: []runner.CustomerStatus{{CustomerReport: sched.CustomerReport{
+			Name: "c", Configured: true, WeightPermille: 1500, Quota: jobs.Resources{MilliCores: 1, MemoryMiB: 2, Accelerators: 3},
+			Held: jobs.Resources{MilliCores: 4, MemoryMiB: 5, Accelerators: 6}, WaitingTasks: 8,
+		}, ForeignJobCalls: 9}, {}}},
 		{Report: &sched.JobReport{
 			JobSummary: summary, Pool: "p", Now: 7, EndedAt: 6,
 			Steps: []sched.StepReport{{
@@ -48,7 +53,7 @@
 // release does not define, and kinds of call that are not sent between processes,
 // are rejected and not taken for other values.
 func TestUndefinedCallValuesAreRejected(t *testing.T) {
-	_, err := CallFromWire(&wirepb.WorkCall{Kind: int32(runner.CallList) + 1})
+	_, err := CallFromWire(&wirepb.WorkCall{Kind: int32(runner.CallCustomers) + 1})
 	assert.ErrorContains(t, err, "kind")
 	for _, w := range []*wirepb.WorkAnswer{
 		{Kind: -1},
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/golden"
 	"pgregory.net/rapid"
 
+	"camphorridge/core/coord/runner"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
 	"camphorridge/core/state/model"
@@ -112,6 +113,16 @@
 	}
 }
 
+func jobCustomers() []runner.CustomerStatus {
+	return []runner.CustomerStatus{
+		{ForeignJobCalls: 3, CustomerReport: sched.CustomerReport{
+			Name: "alpen", Configured: true, WeightPermille: 1500, Quota: jobs.Resources{MilliCores: 64_000, MemoryMiB: 131_072},
+			Held: jobs.Resources{MilliCores: 12_500, MemoryMiB: 2048, Accelerators: 1}, WaitingTasks: 4,
+		}},
+		{CustomerReport: sched.CustomerReport{Name: "gone\x1b[31m", Held: jobs.Resources{MilliCores: 500}}},
+	}
+}
+
 type renderer func(w io.Writer, f report.Format) error
 
 func renderers() map[string]renderer {
@@ -138,7 +149,8 @@
 		"jobs": func(w io.Writer, f report.Format) error {
 			return report.Jobs(w, f, []sched.JobSummary{job().JobSummary, {ID: "j-2", Queue: "q", AcceptedAt: start}}, 7)
 		},
-		"unknown": explain(trail.ExplainRequest(state, events(), "r-9")),
+		"job-customers": func(w io.Writer, f report.Format) error { return report.JobCustomers(w, f, jobCustomers(), 7, 12) },
+		"unknown":       explain(trail.ExplainRequest(state, events(), "r-9")),
 	}
 }
 
--- a/io/trans/admin/admin_test.go
+++ b/io/trans/admin/admin_test.go
@@ -50,6 +50,20 @@
 	golden.Assert(t, b.String(), "entry.txt")
 }
 
+// TestExposeGaugeVector guards against labels that are not escaped or that replace those of
+// the process, and against a registry that drops the metric.
+func TestExposeGaugeVector(t *testing.T) {
+	r := metrics.NewRegistry()
+	assert.NilError(t, admin.RegisterGaugeVector(r, "customer-waiting-tasks", "customer", func() []admin.LabelledValue {
+		return []admin.LabelledValue{{Label: "a\"b\n", Value: 3}, {Label: "other", Value: 4}}
+	}))
+	var b bytes.Buffer
+	assert.NilError(t, admin.Expose(&b, r, []admin.Label{{Name: "process", Value: "c1"}}))
+	assert.Equal(t, b.String(), "# TYPE camphorridge_customer_waiting_tasks gauge\n"+
+		"camphorridge_customer_waiting_tasks{process=\"c1\",customer=\"a\\\"b\\n\"} 3\n"+
+		"camphorridge_customer_waiting_tasks{process=\"c1\",customer=\"other\"} 4\n")
+}
+
 // TestHistogramTotal guards against a sum that covers only the sampled values and
 // decreases between two scrapes.
 func TestHistogramTotal(t *testing.T) {
--- a/io/trans/admin/expose.go
+++ b/io/trans/admin/expose.go
@@ -59,6 +59,8 @@
 		x.writeSingle(name, "_total", "counter", float64(m.Count()))
 	case metrics.Meter:
 		x.writeSingle(name, "_total", "counter", float64(m.Count()))
+	case gaugeVector:
+		x.writeVector(name, m)
 	case metrics.Gauge:
 		x.writeSingle(name, "", "gauge", float64(m.Value()))
 	case metrics.GaugeFloat64:
@@ -83,6 +85,19 @@
 	x.writeSample(n, x.labels, v)
 }
 
+// writeVector writes one sample for each value, with the vector's label.
+func (x *exposer) writeVector(name string, v gaugeVector) {
+	n := x.uniqueName(name, "", "")
+	fmt.Fprintf(&x.out, "# TYPE %s gauge\n", n)
+	for _, s := range v.values() {
+		labels := formatLabels([]Label{{Name: v.label, Value: s.Label}})
+		if x.labels != "" {
+			labels = x.labels + "," + labels
+		}
+		x.writeSample(n, labels, float64(s.Value))
+	}
+}
+
 // writeSummary writes the quantiles, the sum and the count. It omits the sum if it is
 // NaN, which means unknown.
 func (x *exposer) writeSummary(name string, values []float64, sum float64, count int64) {
--- a/io/trans/admin/stats.go
+++ b/io/trans/admin/stats.go
@@ -27,6 +27,19 @@
 	return register(r, name, metrics.NewFunctionalGauge(f))
 }
 
+// LabelledValue is one value of a gauge vector.
+type LabelledValue struct {
+	Label string
+	Value int64
+}
+
+// RegisterGaugeVector registers a gauge with one value for each value of a label. values
+// returns them with different labels, and must be safe to call from any goroutine. The
+// error is of KindRegister.
+func RegisterGaugeVector(r metrics.Registry, name, label string, values func() []LabelledValue) error {
+	return register(r, name, gaugeVector{label: label, values: values})
+}
+
 // RegisterHistogram registers and returns a new histogram. The error is of
 // KindRegister.
 func RegisterHistogram(r metrics.Registry, name string) (metrics.Histogram, error) {
@@ -80,3 +93,27 @@
 
 // Total returns the sum of all values since the histogram was created.
 func (s *totalSample) Total() int64 { return s.total.Load() }
+
+// gaugeVector is a gauge with one value for each value of a label. It is a metrics.Gauge
+// because a registry drops metrics of other types.
+type gaugeVector struct {
+	label  string
+	values func() []LabelledValue
+}
+
+// Value returns the sum of all values.
+func (v gaugeVector) Value() int64 {
+	sum := int64(0)
+	for _, s := range v.values() {
+		sum += s.Value
+	}
+	return sum
+}
+
+// Update panics, because the gauge is read-only.
+func (v gaugeVector) Update(int64) { panic("Update called on a read-only gauge") }
+
+func (v gaugeVector) Snapshot() metrics.Gauge {
+	all := v.values()
+	return gaugeVector{label: v.label, values: func() []LabelledValue { return all }}
+}
--- a/io/trans/cmds/cmds.go
+++ b/io/trans/cmds/cmds.go
@@ -195,7 +195,7 @@
 }
 
 func attachJobs(add addFunc, o *options) {
-	group := add(nil, "job", "submit, show, list or cancel jobs", nil)
+	group := add(nil, "job", "submit, show, list or cancel jobs, or list the customers that submit them", nil)
 	submit := add(group, "submit", "submit the job in a file; submitting it again is harmless", submitJob)
 	submit.AddPositionalValue(&o.file, "file", 1, true, "job file")
 	get := add(group, "get", "show the state of a job", getJob)
@@ -205,7 +205,8 @@
 	}
 	list := add(group, "list", "list the jobs that have not ended, the oldest first", listJobs)
 	list.String(&o.queue, "", "queue", "only the jobs of this queue")
-	addOperatorFlags(o, submit, get, cancel, list)
+	customers := add(group, "customers", "list the customers whose keys submit jobs, with what they hold and wait for", listJobCustomers)
+	addOperatorFlags(o, submit, get, cancel, list, customers)
 }
 
 func attachReports(add addFunc, o *options) {
--- a/io/trans/cmds/job.go
+++ b/io/trans/cmds/job.go
@@ -65,6 +65,12 @@
 	})
 }
 
+func listJobCustomers(o *options, out io.Writer) error {
+	return callLeader(o, "job customers", runner.Call{Kind: runner.CallCustomers}, func(a runner.Answer) error {
+		return report.JobCustomers(out, o.format(), a.Customers, a.Count, a.UnknownKeyCalls)
+	})
+}
+
 func explainJob(o *options, out io.Writer) error {
 	return callLeader(o, "explain", runner.Call{Kind: runner.CallExplain, JobID: jobs.ID(o.name)}, func(a runner.Answer) error {
 		return report.Job(out, o.format(), *a.Report)
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -96,6 +96,7 @@
 		return
 	}
 	_ = r.Register("job-commit-ms", c.commitMillis)
+	registerCustomerGauges(r, c.jobs.Customers)
 	count := func(f func(runner.Counts) int64) func() int64 { return func() int64 { return f(c.jobs.Counts()) } }
 	registerCounters(r, []counter{
 		{"heartbeats", count(func(n runner.Counts) int64 { return n.Heartbeats })},
@@ -105,6 +106,8 @@
 		{"job-calls", count(func(n runner.Counts) int64 { return n.Calls })},
 		{"job-calls-refused", count(func(n runner.Counts) int64 { return n.OverloadRefusals })},
 		{"job-calls-unauthorized", count(func(n runner.Counts) int64 { return n.UnauthorizedCalls })},
+		{"job-calls-unknown-key", count(func(n runner.Counts) int64 { return n.UnknownKeyCalls })},
+		{"job-calls-foreign-job", count(func(n runner.Counts) int64 { return n.ForeignJobCalls })},
 		{"job-submissions-stale", count(func(n runner.Counts) int64 { return n.StaleSubmissions })},
 		{"job-submissions-cancelled", count(func(n runner.Counts) int64 { return n.CancelledSubmissions })},
 		{"job-batches", count(func(n runner.Counts) int64 { return n.Batches })},
