--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -340,8 +340,12 @@
 	}
 	s.addPending(rec)
 	s.queueJob(rec, now)
-	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s, configuration version %d, %d steps, deadline in %d ms",
-		j.Queue, s.State.Config.Version, len(j.Steps), Deadline(rec, 0)-now), false)
+	owner := ""
+	if j.Customer != "" {
+		owner = fmt.Sprintf(", customer %s", j.Customer)
+	}
+	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s%s, configuration version %d, %d steps, deadline in %d ms",
+		j.Queue, owner, s.State.Config.Version, len(j.Steps), Deadline(rec, 0)-now), false)
 }
 
 // noteJobEnd adds a note on the end of a job: how long it took, by how much it
