Measure the reports on customers in a benchmark

Cause: a leader makes the reports every two seconds and reads all runs for them.

Change: BenchmarkCustomers, for 50, 350 and 5,100 workers with ten runs each.

--- a/core/state/sched/customers_test.go
+++ b/core/state/sched/customers_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -56,3 +57,22 @@
 	busy.Held = jobs.Resources{MilliCores: 6000, MemoryMiB: 10}
 	assert.DeepEqual(t, f.Customers(), []CustomerReport{busy, idle, removed})
 }
+
+// BenchmarkCustomers measures the reports on 89 customers, which a leader makes every two
+// seconds, for several fleet sizes with ten runs on each worker. The cost grows with the
+// number of runs.
+func BenchmarkCustomers(b *testing.B) {
+	for _, n := range []int{50, 350, 5100} {
+		b.Run(fmt.Sprint(n, "-workers"), func(b *testing.B) {
+			s, _ := benchmarkFleet(n)
+			i := 0
+			for _, rec := range s.State.Jobs {
+				rec.Customer = jobs.CustomerName(fmt.Sprint("c", i%89))
+				i++
+			}
+			for b.Loop() {
+				s.Customers()
+			}
+		})
+	}
+}
