Start tasks only within the quota of their customer

Cause: the quotas of the configuration had no effect in the scheduler.

Change: the scheduler keeps what each customer holds where runs are added to and removed from workers. A task or a gang starts only if it fits in what is left of the quota, or if the customer holds nothing. Groups that wait for their quota leave the ranked list of their pool for the blocked groups of their customer, and come back in the order of ranks when there is room. They reserve nothing, request no advice, preempt nothing and count as no need for machines. explain reports the limit quota, and the log has the lines quota-wait and quota-wait-ended.

--- a/core/state/sched/consistency_test.go
+++ b/core/state/sched/consistency_test.go
@@ -9,12 +9,12 @@
 // checkConsistency checks that the scheduler agrees with its state: each waiting
 // task that may start is in exactly one group, that of its pool, each assigned
 // task has a run, and the resources that a worker has in use are those of its
-// runs. It guards against tasks that never start and against resources that are
-// never freed.
+// runs. What a customer holds are the full resources of its runs. It guards against
+// tasks that never start and against resources that are never freed.
 func (s *Scheduler[P, H]) checkConsistency(failf func(format string, args ...any)) {
 	queued := 0
 	for name, p := range s.pools {
-		for g := range p.groups.All() {
+		for _, g := range s.groupsOf(p) {
 			if g.rec.Status.Final() {
 				continue
 			}
@@ -49,13 +49,61 @@
 		for _, r := range w.runs {
 			used = used.Plus(reservation(r.step))
 		}
-		for _, resources := range w.unassigned {
-			used = used.Plus(resources)
+		for _, r := range w.unassigned {
+			used = used.Plus(r.reserved)
 		}
 		if w.used != used {
 			failf("worker %s has %+v in use, and its runs need %+v", w.id, w.used, used)
 		}
 	}
+	s.checkHeld(failf)
+}
+
+// checkHeld checks what each customer holds against a recount over all workers, and that
+// the blocked groups are those that wait for a quota.
+func (s *Scheduler[P, H]) checkHeld(failf func(format string, args ...any)) {
+	held := map[jobs.CustomerName]jobs.Resources{}
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			held[r.rec.Customer] = held[r.rec.Customer].Plus(r.step.Resources)
+		}
+		for _, r := range w.unassigned {
+			if r.customer != nil {
+				held[r.customer.name] = held[r.customer.name].Plus(r.resources)
+			}
+		}
+	}
+	for name, c := range s.customers {
+		if c.held != held[name] {
+			failf("customer %s holds %+v, and its runs need %+v", name, c.held, held[name])
+		}
+		blocked := 0
+		for p, list := range c.blocked {
+			for g := range list.All() {
+				blocked++
+				if !g.blocked || g.customer != c || p.groupByStep[g.key] != g || !g.live() {
+					failf("group %v, %+v, must not be among the blocked ones of customer %s", g.key, g, name)
+				}
+				if g.withinQuota() && !s.unblocking[c] {
+					failf("group %v of customer %s is blocked, and the quota lets it start: %s", g.key, name, c.explain())
+				}
+			}
+		}
+		if blocked != c.blockedCount {
+			failf("customer %s has %d blocked groups and counts %d", name, blocked, c.blockedCount)
+		}
+	}
+}
+
+// groupsOf returns the groups of a pool, the blocked ones included.
+func (s *Scheduler[P, H]) groupsOf(p *pool) []*taskGroup {
+	groups := slices.Collect(p.groups.All())
+	for _, c := range s.customers {
+		if list := c.blocked[p]; list != nil {
+			groups = slices.AppendSeq(groups, list.All())
+		}
+	}
+	return groups
 }
 
 // mayStart reports whether a task waits and its occurrence and step are ready.
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -20,6 +20,9 @@
 	WaitNotDue WaitReason = "not-due"
 	// WaitDependencies means that the step depends on one that is not done.
 	WaitDependencies WaitReason = "earlier-steps"
+	// WaitQuota means that the quota of the job's customer does not let another task
+	// start.
+	WaitQuota WaitReason = "quota"
 	// WaitNoWorkers means that no worker of the pool has sent a heartbeat
 	// recently.
 	WaitNoWorkers WaitReason = "no-workers"
@@ -164,14 +167,17 @@
 	return report
 }
 
-// waitReason filters the live workers of the pool by each requirement of the
+// waitReason returns WaitQuota if the quota lets no task start. Otherwise it filters the live workers of the pool by each requirement of the
 // task in turn, and returns the reason of the first one that no remaining
 // worker meets.
 func (s *Scheduler[P, H]) waitReason(rec *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
 	key := stepKey{rec.ID, occurrence, step}
 	g := s.pool(s.poolOf(rec)).groupByStep[key]
 	if g == nil {
-		g = &taskGroup{key: key, rec: rec, step: &rec.Steps[step], reserved: reservation(&rec.Steps[step]), waitingSince: now}
+		g = s.newGroup(rec, key, now)
+	}
+	if !g.withinQuota() {
+		return WaitQuota
 	}
 	filtered := s.filterWorkers(g, now)
 	if filtered.last.remaining == 0 {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -151,6 +151,9 @@
 func (s *Scheduler[P, H]) unqueueGang(rec *jobs.Record, t jobs.TaskID) {
 	if g := s.pool(s.poolOf(rec)).groupByStep[stepKeyOf(t)]; g != nil && g.step.Gang {
 		g.waiting = g.waiting[:0]
+		if g.blocked {
+			s.pool(s.poolOf(rec)).removeGroup(g)
+		}
 	}
 }
 
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -239,28 +239,31 @@
 // clearUnassigned forgets the unassigned runs of a worker and frees their
 // resources.
 func (s *Scheduler[P, H]) clearUnassigned(w *worker) {
-	for _, resources := range w.unassigned {
-		w.used = w.used.Minus(resources)
+	for _, r := range w.unassigned {
+		w.used = w.used.Minus(r.reserved)
+		s.removeHeld(r.customer, r.resources)
 	}
 	w.unassigned = nil
 }
 
 // addUnassigned records a run that is not assigned to the worker. Its resources
-// count as used while the worker lists it.
+// count as used, and as held by its customer, while the worker lists it.
 func (s *Scheduler[P, H]) addUnassigned(w *worker, status RunStatus) {
 	key := Stop{Task: status.Task, Run: status.Run}
 	if _, ok := w.unassigned[key]; ok {
 		return
 	}
-	resources := jobs.Resources{}
+	r := unassignedRun{}
 	if rec := s.State.Jobs[status.Task.Job]; rec != nil && status.Task.Step >= 0 && status.Task.Step < len(rec.Steps) {
-		resources = reservation(&rec.Steps[status.Task.Step])
+		step := &rec.Steps[status.Task.Step]
+		r = unassignedRun{customer: s.customer(rec.Customer), resources: step.Resources, reserved: reservation(step)}
 	}
 	if w.unassigned == nil {
-		w.unassigned = map[Stop]jobs.Resources{}
+		w.unassigned = map[Stop]unassignedRun{}
 	}
-	w.unassigned[key] = resources
-	w.used = w.used.Plus(resources)
+	w.unassigned[key] = r
+	w.used = w.used.Plus(r.reserved)
+	s.addHeld(r.customer, r.resources)
 }
 
 // repeatOrders repeats the orders that, according to the heartbeat, did not
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -59,7 +59,7 @@
 		}
 		s.noteFleet(DecisionPoolLoad, fmt.Sprintf(
 			"pool %s has %d machines and needs %d, %d idle, %d with long-running tasks, %d quarantined, %d cordoned, %d core-ms of work waiting, %d assigned jobs that no worker has reported",
-			load.name, load.machines, load.needed, len(load.idle), withLongRunning, quarantined, cordoned, s.pool(load.name).waitingMilliCoreMillis()/1000, s.assignedPending(load.name)))
+			load.name, load.machines, load.needed, len(load.idle), withLongRunning, quarantined, cordoned, s.waitingMilliCoreMillis(s.pool(load.name))/1000, s.assignedPending(load.name)))
 	}
 }
 
@@ -121,9 +121,9 @@
 	for name, load := range byPool {
 		p := s.pool(name)
 		p.updateArrivalRate()
-		neededMilliCores := int(busyMilliCores[name] + p.waitingMilliCoreMillis()/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
+		neededMilliCores := int(busyMilliCores[name] + s.waitingMilliCoreMillis(p)/s.settings.BacklogTargetMillis + clock.Millis(p.arrivalRate))
 		load.needed = (neededMilliCores + perMachine - 1) / perMachine
-		if n := s.pool(name).machinesForUnplacedTasks(now); n > 0 {
+		if n := s.machinesForUnplacedTasks(p, now); n > 0 {
 			load.needed = max(load.needed, load.machines+n)
 		}
 		slices.SortStableFunc(load.busy, func(x, y *worker) int {
@@ -140,12 +140,12 @@
 // pool needs for long-running tasks that no available worker could take. The
 // usual cause is a limit on the tasks of a step on one worker. If several steps
 // wait, the one that needs the most machines counts.
-func (p *pool) machinesForUnplacedTasks(now clock.Millis) int {
+func (s *Scheduler[P, H]) machinesForUnplacedTasks(p *pool, now clock.Millis) int {
 	n := 0
-	for g := range p.groups.All() {
-		if g.step.LongRunning && g.live() && now-g.waitingSince > unplacedWaitMillis {
+	for g, tasks := range s.startableGroups(p) {
+		if g.step.LongRunning && now-g.waitingSince > unplacedWaitMillis {
 			perMachine := max(g.step.MaxPerWorker, 1)
-			n = max(n, (len(g.waiting)+perMachine-1)/perMachine)
+			n = max(n, (tasks+perMachine-1)/perMachine)
 		}
 	}
 	return n
@@ -197,15 +197,17 @@
 func (p *pool) updateArrivalRate() {
 	p.arrivalRate += arrivalRateWeight * (float64(p.newMilliCoreMillis/rebalancePeriodMillis) - p.arrivalRate)
 	p.newMilliCoreMillis = 0
+	clear(p.newByCustomer)
 }
 
 // waitingMilliCoreMillis returns the waiting work of the pool, without best-effort
-// tasks and without work that can no longer meet its deadline. The unit is
-// milli-cores times milliseconds, although the type is clock.Millis.
-func (p *pool) waitingMilliCoreMillis() clock.Millis {
+// tasks, without work that can no longer meet its deadline and without work that waits
+// for a quota. The unit is milli-cores times milliseconds, although the type is
+// clock.Millis.
+func (s *Scheduler[P, H]) waitingMilliCoreMillis(p *pool) clock.Millis {
 	milliCoreMillis := clock.Millis(0)
-	for g := range p.groups.All() {
-		if g.step.BestEffort || !g.live() || g.rank.Class == classLate {
+	for g, tasks := range s.startableGroups(p) {
+		if g.step.BestEffort || g.rank.Class == classLate {
 			continue
 		}
 		duration := g.step.Estimate
@@ -214,7 +216,7 @@
 			// processors count.
 			duration = clock.Second
 		}
-		milliCoreMillis += clock.Millis(len(g.waiting)*g.step.Resources.MilliCores) * duration
+		milliCoreMillis += clock.Millis(tasks*g.step.Resources.MilliCores) * duration
 	}
 	return milliCoreMillis
 }
--- a/core/state/sched/note.go
+++ b/core/state/sched/note.go
@@ -20,6 +20,8 @@
 	DecisionQuarantined         Decision = "worker-set-aside"
 	DecisionTaskWaiting         Decision = "task-waiting"
 	DecisionRunNotListed        Decision = "run-not-listed"
+	DecisionQuotaWait           Decision = "quota-wait"
+	DecisionQuotaWaitEnded      Decision = "quota-wait-ended"
 	DecisionAdviceReceived      Decision = "advice-taken"
 	DecisionAdviceMissing       Decision = "advice-missing"
 	DecisionPoolLoad            Decision = "pool-load"
@@ -40,7 +42,7 @@
 // explains them.
 var Decisions = []Decision{
 	DecisionAccepted, DecisionCompleted, DecisionFailed, DecisionCancelled, DecisionCancelRecorded, DecisionSubmissionLate, DecisionStarted, DecisionEnded, DecisionStopped, DecisionStartsDeferred,
-	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
+	DecisionQuarantined, DecisionTaskWaiting, DecisionRunNotListed, DecisionQuotaWait, DecisionQuotaWaitEnded, DecisionAdviceReceived, DecisionAdviceMissing, DecisionPoolLoad, DecisionMachineMoved, DecisionMachineNotMoved, DecisionListFailed, DecisionMaintenanceOrdered, DecisionMaintenanceAnswered,
 	DecisionMaintenanceDropped, DecisionMachineMissing, DecisionWaveCompleted, DecisionLeaderLoad, DecisionStateLoaded, DecisionStateDiscarded,
 }
 
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -19,12 +19,10 @@
 	s.expireLeases(now)
 	s.queueDueOccurrences(now)
 	s.advanceWaves(now)
-	for p := range s.dirtyPools {
-		s.placePool(p, now)
-	}
-	clear(s.dirtyPools)
+	s.placeWaiting(now)
 	s.rebalance(now)
 	s.noteWaiting(now)
+	s.noteQuotas(now)
 	s.addReplies(now)
 	plan := s.plan
 	plan.NextPass = s.nextPass(now)
@@ -70,20 +68,26 @@
 // their ranks.
 func (s *Scheduler[P, H]) placePool(p *pool, now clock.Millis) {
 	s.refreshRanks(p, now)
+	defer s.blockLeading(p, now)
+	p.heldByGang = false
 	if p.groups.Len() == 0 || len(p.available) == 0 {
 		return
 	}
-	p.reserved = nil
+	p.reserved, p.promised = nil, nil
 	room := newRoom(p)
 	// keptOff holds the groups with tasks that are kept off a worker. Nothing is
 	// reserved for them before the other long-running tasks are placed: a task that
 	// fails again and again would keep these from resources that it does not use.
-	var keptOff, ended []*taskGroup
+	var keptOff, ended, blocked []*taskGroup
 	for g := range p.groups.Matching(room.mayFit) {
 		if !g.live() {
 			ended = append(ended, g)
 			continue
 		}
+		if !g.withinQuota() {
+			blocked = append(blocked, g)
+			continue
+		}
 		if !g.step.LongRunning {
 			for _, k := range keptOff {
 				s.reserve(p, k, now)
@@ -95,7 +99,7 @@
 				continue
 			}
 			s.requestAdvice(p, g, now)
-			if s.reservesCapacity(p, g, now) {
+			if p.heldByGang = s.reservesCapacity(p, g, now); p.heldByGang {
 				break
 			}
 			continue
@@ -104,6 +108,8 @@
 		switch {
 		case !g.live():
 			ended = append(ended, g)
+		case !g.withinQuota():
+			blocked = append(blocked, g)
 		case !g.step.LongRunning:
 		case s.keepsOff(g, now):
 			keptOff = append(keptOff, g)
@@ -114,6 +120,9 @@
 	for _, g := range ended {
 		p.removeGroup(g)
 	}
+	for _, g := range blocked {
+		s.block(p, g, now)
+	}
 }
 
 // placeGroup assigns the waiting tasks of a group that is no gang, unless the room
@@ -133,10 +142,10 @@
 }
 
 // placeTasks assigns the waiting tasks of a group to available workers, until there
-// is none for a task. It returns false if none of the workers has enough free
-// resources for that task.
+// is none for a task or the quota lets none start. It returns false if none of the
+// workers has enough free resources for that task.
 func (s *Scheduler[P, H]) placeTasks(p *pool, g *taskGroup, now clock.Millis) bool {
-	for len(g.waiting) > 0 {
+	for len(g.waiting) > 0 && g.withinQuota() {
 		last := len(g.waiting) - 1
 		t := g.key.taskID(g.waiting[last])
 		w, hasCapacity := s.chooseWorker(p, g, t, now)
@@ -314,7 +323,7 @@
 		return s.settings.MinRetryMillis
 	}
 	longest := s.settings.MaxRetryMillis
-	if s.pool(w.pool).hasWaiting() {
+	if s.hasWaiting(s.pool(w.pool)) {
 		// Waiting tasks should get the resources of a task soon after it ends.
 		longest = 2 * s.settings.MinRetryMillis
 	}
--- a/core/state/sched/preempt.go
+++ b/core/state/sched/preempt.go
@@ -33,7 +33,7 @@
 
 // preempt stops finite tasks for the long-running tasks of a group that have waited
 // for long and would not start in time otherwise. hosts are all workers that can run
-// a task of the group, and missing is the number of its waiting tasks. Tasks are
+// a task of the group, and missing is the number of its waiting tasks to start. Tasks are
 // stopped where the least work is lost. preempt returns the hosts in the order of
 // preference: those that can run a task in time, those on which tasks were stopped,
 // and the others.
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 
 	"camphorridge/core/state/clock"
@@ -105,10 +106,13 @@
 
 // pool is the waiting work and the available workers of one pool.
 type pool struct {
+	name jobs.PoolName
 	// workers holds the workers of the pool that have sent a heartbeat in this term.
 	workers map[jobs.WorkerID]*worker
-	// groups holds the groups of waiting tasks by rank. A group that has none left,
-	// or whose job has ended, stays until placePool or refreshRanks comes to it.
+	// groups holds the groups of waiting tasks by rank, without those in the blocked
+	// groups of a customer. A group that has none left, whose job has ended or that
+	// waits for its quota stays until placePool or refreshRanks comes to it.
+	// groupByStep holds the blocked groups too.
 	groups      order.List[*taskGroup, groupNeeds]
 	groupByStep map[stepKey]*taskGroup
 	// rankEnds orders the groups by the end of their rank's validity. An entry is
@@ -120,10 +124,18 @@
 	// reserved holds what the workers reserve for the waiting long-running tasks
 	// that rank before the group being placed. Each pass computes it anew.
 	reserved map[*worker]jobs.Resources
+	// promised holds what the tasks for which resources are reserved will hold of the
+	// quotas. heldByGang is set if the latest placement left all free resources to a
+	// gang. Each pass computes them anew.
+	promised   map[*customer]jobs.Resources
+	heldByGang bool
 	// newMilliCoreMillis is the work that has arrived since the last update of
 	// arrivalRate. Its unit is milli-cores times milliseconds, although its type
 	// is clock.Millis.
 	newMilliCoreMillis clock.Millis
+	// newByCustomer is the part of newMilliCoreMillis of each customer with a quota of
+	// processors.
+	newByCustomer map[*customer]clock.Millis
 	// arrivalRate is the moving average of the work that arrives per
 	// millisecond, in milli-cores, over about half a second.
 	arrivalRate float64
@@ -134,16 +146,6 @@
 	history map[jobs.QueueName]*place.ClassHistory
 }
 
-// hasWaiting reports whether tasks of the pool wait for a worker.
-func (p *pool) hasWaiting() bool {
-	for g := range p.groups.All() {
-		if g.live() {
-			return true
-		}
-	}
-	return false
-}
-
 // stepKey identifies a step of one occurrence of a job.
 type stepKey struct {
 	job        jobs.ID
@@ -172,9 +174,25 @@
 	// waitingSince if the lease of the task's worker has ended.
 	awaySince clock.Millis
 	rank      Rank
-	// reserved is what each task reserves on its worker.
+	// rankEndAt is the time of the group's latest entry in rankEnds; 0 for none.
+	rankEndAt clock.Millis
+	// reserved is what each task reserves on its worker, and need what must fit in the
+	// quota of customer for a start; see quotaNeed.
 	reserved jobs.Resources
-	hosts    groupHosts
+	need     jobs.Resources
+	customer *customer
+	// blocked is set while the group is in the blocked groups of customer and not in
+	// the ranked list of its pool.
+	blocked bool
+	hosts   groupHosts
+}
+
+// newGroup returns a group without tasks.
+func (s *Scheduler[P, H]) newGroup(rec *jobs.Record, key stepKey, now clock.Millis) *taskGroup {
+	step := &rec.Steps[key.step]
+	return &taskGroup{
+		key: key, rec: rec, step: step, reserved: reservation(step), need: quotaNeed(step), customer: s.customer(rec.Customer), waitingSince: now, awaySince: now,
+	}
 }
 
 // Before orders groups by class, key, turn and the order of acceptance, then by
@@ -186,7 +204,7 @@
 
 // Summary returns the needs of the group.
 func (g *taskGroup) Summary() groupNeeds {
-	return groupNeeds{smallest: g.reserved, special: g.step.LongRunning || g.step.Gang}
+	return groupNeeds{smallest: g.reserved, smallestHeld: g.need, special: g.step.LongRunning || g.step.Gang}
 }
 
 // live reports whether tasks of the group wait for a worker.
@@ -197,6 +215,9 @@
 type groupNeeds struct {
 	// smallest holds for each resource the least that a task of any group reserves.
 	smallest jobs.Resources
+	// smallestHeld holds for each resource the least that a start adds to what the
+	// customer holds.
+	smallestHeld jobs.Resources
 	// special is set if a group is of long-running tasks or a gang: it may reserve
 	// resources even if it does not fit.
 	special bool
@@ -204,13 +225,15 @@
 
 // Merge returns the needs of the groups of both.
 func (n groupNeeds) Merge(o groupNeeds) groupNeeds {
-	return groupNeeds{
-		smallest: jobs.Resources{
-			MilliCores:   min(n.smallest.MilliCores, o.smallest.MilliCores),
-			MemoryMiB:    min(n.smallest.MemoryMiB, o.smallest.MemoryMiB),
-			Accelerators: min(n.smallest.Accelerators, o.smallest.Accelerators),
-		},
-		special: n.special || o.special,
+	return groupNeeds{smallest: least(n.smallest, o.smallest), smallestHeld: least(n.smallestHeld, o.smallestHeld), special: n.special || o.special}
+}
+
+// least returns the smaller amount of each resource.
+func least(a, b jobs.Resources) jobs.Resources {
+	return jobs.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
 	}
 }
 
@@ -256,6 +279,7 @@
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{
+			name: name, newByCustomer: map[*customer]clock.Millis{},
 			workers: map[jobs.WorkerID]*worker{}, groupByStep: map[stepKey]*taskGroup{}, available: map[jobs.WorkerID]*worker{},
 			history: map[jobs.QueueName]*place.ClassHistory{},
 		}
@@ -284,9 +308,7 @@
 // as newly arrived in the pool.
 func (s *Scheduler[P, H]) queueOccurrence(rec *jobs.Record, occurrence int, now clock.Millis) {
 	p := s.pool(s.poolOf(rec))
-	for step := range rec.Steps {
-		p.newMilliCoreMillis += finiteMilliCoreMillis(&rec.Steps[step], rec.Steps[step].TaskCount, rec.Steps[step].Estimate)
-	}
+	s.countArrival(p, rec)
 	for step := range rec.Steps {
 		if !rec.Ready(occurrence, step) {
 			continue
@@ -315,8 +337,7 @@
 		g = nil
 	}
 	if g == nil {
-		step := &rec.Steps[t.Step]
-		g = &taskGroup{key: key, rec: rec, step: step, reserved: reservation(step), waitingSince: now, awaySince: now}
+		g = s.newGroup(rec, key, now)
 		s.addGroup(p, g, now)
 	}
 	if g.step.LongRunning && rec.Task(t).Run > 0 {
@@ -329,19 +350,29 @@
 	s.dirtyPools[p] = true
 }
 
-// addGroup adds a group to a pool with its present rank.
+// addGroup adds a group to a pool with its present rank, or to the blocked groups of its
+// customer.
 func (s *Scheduler[P, H]) addGroup(p *pool, g *taskGroup, now clock.Millis) {
 	g.rank = s.rankPolicy.Rank(g.rec, g.key.occurrence, now)
 	p.groupByStep[g.key] = g
+	if !g.withinQuota() {
+		s.insertBlocked(p, g, now)
+		return
+	}
 	p.groups.Insert(g)
-	if g.rank.Until > 0 {
+	if g.rank.Until > 0 && g.rank.Until != g.rankEndAt {
+		g.rankEndAt = g.rank.Until
 		p.rankEnds.Push(rankEnd{at: g.rank.Until, g: g})
 	}
 }
 
 // removeGroup removes a group from the pool.
 func (p *pool) removeGroup(g *taskGroup) {
-	p.groups.Remove(g)
+	if g.blocked {
+		p.removeBlocked(g)
+	} else {
+		p.groups.Remove(g)
+	}
 	delete(p.groupByStep, g.key)
 }
 
@@ -349,10 +380,11 @@
 // assigns to its queues.
 func (s *Scheduler[P, H]) reassignPools(now clock.Millis) {
 	for name, p := range s.pools {
-		for _, g := range slices.Collect(p.groups.All()) {
+		for _, g := range slices.Collect(maps.Values(p.groupByStep)) {
 			if to := s.poolOf(g.rec); to != name {
 				q := s.pool(to)
 				p.removeGroup(g)
+				g.rankEndAt = 0
 				s.addGroup(q, g, now)
 				s.dirtyPools[q] = true
 			}
@@ -365,7 +397,13 @@
 func (s *Scheduler[P, H]) refreshRanks(p *pool, now clock.Millis) {
 	for p.rankEnds.Len() > 0 && p.rankEnds.Top().at <= now {
 		e := p.rankEnds.Pop()
-		if p.groupByStep[e.g.key] != e.g || e.g.rank.Until != e.at {
+		if p.groupByStep[e.g.key] != e.g {
+			continue
+		}
+		if e.g.rankEndAt == e.at {
+			e.g.rankEndAt = 0
+		}
+		if e.g.blocked || e.g.rank.Until != e.at {
 			continue
 		}
 		p.removeGroup(e.g)
--- /dev/null
+++ b/core/state/sched/quota.go
@@ -0,0 +1,502 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"iter"
+	"maps"
+	"math"
+	"slices"
+
+	"camphorridge/core/state/clock"
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/order"
+)
+
+const (
+	// unblockLimit is the number of groups of a customer that the first round of a
+	// pass unblocks at most. Each further round doubles it, so that a pass takes few
+	// rounds even if most of the groups can't be placed for another reason.
+	unblockLimit = 4
+	// unblockRestLimit is the number of groups of a customer that a pass unblocks
+	// beyond those that may fit on a worker.
+	unblockRestLimit = 8
+	// quotaNotePeriodMillis is how long no group of a customer must have been blocked
+	// before its wait counts as ended. A customer with more work than its quota allows
+	// is blocked again right after each start, and would fill the log otherwise.
+	quotaNotePeriodMillis = 2 * clock.Second
+)
+
+// customer is what the leader knows of one customer. The names come from the
+// configurations of the operators, so a customer is kept for the rest of the term.
+type customer struct {
+	name jobs.CustomerName
+	// quota limits held. It is math.MaxInt for a resource without a limit. limited is
+	// set if any resource has one.
+	quota   jobs.Resources
+	limited bool
+	// held is the sum of the full resources of the customer's runs on all workers and
+	// of the runs that a worker lists although they are not assigned to it. Only
+	// addHeld and removeHeld change it.
+	held jobs.Resources
+	// blocked holds the groups that were found to wait for the quota, by pool; no list
+	// is empty. Some of them may be allowed to start if the customer is in
+	// Scheduler.unblocking, and none otherwise. blockedCount is the number of groups.
+	blocked      map[*pool]*order.List[*taskGroup, groupNeeds]
+	blockedCount int
+	// blockedAt is when a group was last blocked. waitNoted is set from the note on
+	// the beginning of a wait until the note on its end.
+	blockedAt clock.Millis
+	waitNoted bool
+}
+
+// customer returns the customer with the given name, and nil, which has no quota, for
+// jobs without a customer.
+func (s *Scheduler[P, H]) customer(name jobs.CustomerName) *customer {
+	if name == "" {
+		return nil
+	}
+	c := s.customers[name]
+	if c == nil {
+		c = &customer{name: name, blocked: map[*pool]*order.List[*taskGroup, groupNeeds]{}}
+		s.customers[name] = c
+	}
+	return c
+}
+
+// readQuotas sets the quotas to those of the configuration. A customer that the
+// configuration does not contain has none.
+func (s *Scheduler[P, H]) readQuotas() {
+	quotas := map[jobs.CustomerName]jobs.Resources{}
+	for i := range s.State.Config.Customers {
+		configured := &s.State.Config.Customers[i]
+		quotas[configured.Name] = configured.Quota
+		s.customer(configured.Name)
+	}
+	for name, c := range s.customers {
+		c.setQuota(quotas[name])
+		s.roomChanged(c)
+	}
+}
+
+// setQuota sets the quota; 0 means no limit for a resource.
+func (c *customer) setQuota(quota jobs.Resources) {
+	c.limited = quota != jobs.Resources{}
+	limit := func(amount int) int {
+		if amount == 0 {
+			return math.MaxInt
+		}
+		return amount
+	}
+	c.quota = jobs.Resources{MilliCores: limit(quota.MilliCores), MemoryMiB: limit(quota.MemoryMiB), Accelerators: limit(quota.Accelerators)}
+}
+
+// addHeld adds resources to what the customer holds.
+func (s *Scheduler[P, H]) addHeld(c *customer, resources jobs.Resources) {
+	if c != nil {
+		c.held = c.held.Plus(resources)
+	}
+}
+
+// removeHeld subtracts resources from what the customer holds.
+func (s *Scheduler[P, H]) removeHeld(c *customer, resources jobs.Resources) {
+	if c != nil {
+		c.held = c.held.Minus(resources)
+		s.roomChanged(c)
+	}
+}
+
+// roomChanged lets the next pass look at the blocked groups of a customer.
+func (s *Scheduler[P, H]) roomChanged(c *customer) {
+	if c.blockedCount > 0 {
+		s.unblocking[c] = true
+	}
+}
+
+// allows reports whether the quota lets a task, or a gang, start that needs the given
+// resources: they fit in what is left of the quota, or the customer holds nothing. The
+// latter lets work start that exceeds the quota by itself.
+func (c *customer) allows(need jobs.Resources) bool { return c.allowsBeside(need, jobs.Resources{}) }
+
+// allowsBeside reports the same while the customer holds more than held.
+func (c *customer) allowsBeside(need, more jobs.Resources) bool {
+	if c == nil || !c.limited {
+		return true
+	}
+	held := c.held.Plus(more)
+	return held == jobs.Resources{} || need.FitsIn(c.quota.Minus(held))
+}
+
+// startable returns how many of the waiting tasks of a group the quota lets start while
+// the customer holds more than held.
+func (c *customer) startable(g *taskGroup, more jobs.Resources) int {
+	waiting := len(g.waiting)
+	switch {
+	case c == nil || !c.limited:
+		return waiting
+	case !c.allowsBeside(g.need, more):
+		return 0
+	case g.step.Gang:
+		return waiting
+	}
+	left, n := c.quota.Minus(c.held.Plus(more)), waiting
+	limit := func(left, need int) {
+		if need > 0 {
+			n = min(n, left/need)
+		}
+	}
+	limit(left.MilliCores, g.need.MilliCores)
+	limit(left.MemoryMiB, g.need.MemoryMiB)
+	limit(left.Accelerators, g.need.Accelerators)
+	// A single task that exceeds the quota may start while the customer holds nothing.
+	return max(n, min(waiting, 1))
+}
+
+// quotaNeed returns what has to fit in the quota for a start: the full resources of one
+// task, or of all tasks of a gang.
+func quotaNeed(step *jobs.Step) jobs.Resources {
+	if step.Gang {
+		return times(step.Resources, step.TaskCount)
+	}
+	return step.Resources
+}
+
+func times(r jobs.Resources, n int) jobs.Resources {
+	return jobs.Resources{MilliCores: r.MilliCores * n, MemoryMiB: r.MemoryMiB * n, Accelerators: r.Accelerators * n}
+}
+
+// heldBy returns what n tasks of the group hold.
+func (g *taskGroup) heldBy(n int) jobs.Resources { return times(g.step.Resources, n) }
+
+// withinQuota reports whether the quota of the group's customer lets the next task of
+// the group start, or all tasks of a gang.
+func (g *taskGroup) withinQuota() bool { return g.customer.allows(g.need) }
+
+// reservable returns the number of waiting tasks of a group for which resources may be
+// reserved: those that the quota lets start beside the tasks of higher rank for which
+// resources are reserved.
+func (p *pool) reservable(g *taskGroup) int { return g.customer.startable(g, p.promised[g.customer]) }
+
+// promise counts n tasks of a group, for which resources are reserved, against the
+// quota of the customer for the rest of the pass.
+func (p *pool) promise(g *taskGroup, n int) {
+	if g.customer == nil || !g.customer.limited {
+		return
+	}
+	if p.promised == nil {
+		p.promised = map[*customer]jobs.Resources{}
+	}
+	p.promised[g.customer] = p.promised[g.customer].Plus(g.heldBy(n))
+}
+
+// block moves a group that waits for its quota from the ranked list of its pool to the
+// blocked groups of its customer.
+func (s *Scheduler[P, H]) block(p *pool, g *taskGroup, now clock.Millis) {
+	p.groups.Remove(g)
+	g.hosts = groupHosts{}
+	s.insertBlocked(p, g, now)
+}
+
+// insertBlocked adds a group that is not in the ranked list to the blocked ones.
+func (s *Scheduler[P, H]) insertBlocked(p *pool, g *taskGroup, now clock.Millis) {
+	c := g.customer
+	list := c.blocked[p]
+	if list == nil {
+		list = &order.List[*taskGroup, groupNeeds]{}
+		c.blocked[p] = list
+	}
+	list.Insert(g)
+	g.blocked = true
+	c.blockedCount++
+	c.blockedAt = now
+	if !c.waitNoted {
+		c.waitNoted = true
+		s.newWaits = append(s.newWaits, c)
+	}
+}
+
+// removeBlocked removes a group from the blocked ones.
+func (p *pool) removeBlocked(g *taskGroup) {
+	c := g.customer
+	c.blocked[p].Remove(g)
+	if c.blocked[p].Len() == 0 {
+		delete(c.blocked, p)
+	}
+	g.blocked = false
+	c.blockedCount--
+}
+
+// blockLeading blocks the groups at the start of the ranked list that wait for their
+// quota, up to unblockRestLimit. A pass does not come to them while no worker of the
+// pool has room, and readers of the list would go through them each time.
+func (s *Scheduler[P, H]) blockLeading(p *pool, now clock.Millis) {
+	var blocked []*taskGroup
+	for g := range p.groups.All() {
+		if len(blocked) == unblockRestLimit || g.withinQuota() {
+			break
+		}
+		blocked = append(blocked, g)
+	}
+	for _, g := range blocked {
+		s.block(p, g, now)
+	}
+}
+
+// dropBlocked removes the blocked groups of a job that has ended.
+func (s *Scheduler[P, H]) dropBlocked(rec *jobs.Record) {
+	c := s.customer(rec.Customer)
+	if c == nil || c.blockedCount == 0 {
+		return
+	}
+	p := s.pool(s.poolOf(rec))
+	for occurrence := range rec.Occurrences {
+		for step := range rec.Steps {
+			if g := p.groupByStep[stepKey{rec.ID, occurrence, step}]; g != nil && g.blocked {
+				p.removeGroup(g)
+			}
+		}
+	}
+}
+
+// placeWaiting assigns waiting tasks in the pools that have changed. Each round first
+// unblocks groups for what has become free of their quotas. If these can't be placed,
+// for example because no worker has their label, the next round unblocks others, so that
+// no room stays unused.
+func (s *Scheduler[P, H]) placeWaiting(now clock.Millis) {
+	for round, limit := 0, unblockLimit; ; round, limit = round+1, 2*limit {
+		s.unblockFitting(round, limit, now)
+		if len(s.dirtyPools) == 0 {
+			break
+		}
+		for _, p := range s.dirtyPoolsInTurn() {
+			s.placePool(p, now)
+		}
+		clear(s.dirtyPools)
+	}
+	s.unblockRest(now)
+}
+
+// dirtyPoolsInTurn returns the pools to place tasks in. Pools share the quotas, so they
+// take turns to be the first.
+func (s *Scheduler[P, H]) dirtyPoolsInTurn() []*pool {
+	s.placements++
+	pools := slices.SortedFunc(maps.Keys(s.dirtyPools), func(x, y *pool) int { return cmp.Compare(x.name, y.name) })
+	first := s.placements % len(pools)
+	return slices.Concat(pools[first:], pools[:first])
+}
+
+// unblockFitting unblocks groups of the customers whose room has changed, at most limit
+// of each customer, and marks their pools as dirty. It takes the groups in the order of
+// their ranks, but only those that a worker may have room for, and until they use up
+// what is left of the quota.
+func (s *Scheduler[P, H]) unblockFitting(round, limit int, now clock.Millis) {
+	rooms := map[*pool]*room{}
+	mayFit := func(p *pool, n groupNeeds) bool {
+		if _, ok := rooms[p]; !ok {
+			rooms[p] = newUnblockRoom(p, round)
+		}
+		return rooms[p] != nil && rooms[p].mayFit(n)
+	}
+	for c := range s.unblocking {
+		if !c.limited {
+			s.unblockAll(c, now)
+			continue
+		}
+		var planned jobs.Resources
+		for range limit {
+			p, g := s.nextBlocked(c, planned, mayFit, now)
+			if g == nil {
+				break
+			}
+			planned = planned.Plus(g.heldBy(max(1, c.startable(g, planned))))
+			s.unblock(p, g, now)
+		}
+	}
+}
+
+// newUnblockRoom returns the room on the available workers of a pool, and nil if no
+// task can be placed there. In the first round the reservations are those of an earlier
+// pass and don't count.
+func newUnblockRoom(p *pool, round int) *room {
+	switch {
+	case len(p.available) == 0:
+		return nil
+	case round > 0:
+		if p.heldByGang {
+			return nil
+		}
+	default:
+		reserved := p.reserved
+		p.reserved = nil
+		defer func() { p.reserved = reserved }()
+	}
+	return newRoom(p)
+}
+
+// nextBlocked returns the blocked group of a customer that ranks first among those that
+// mayFit accepts and that the quota lets start while the customer holds more than held;
+// nil if there is none.
+func (s *Scheduler[P, H]) nextBlocked(c *customer, more jobs.Resources, mayFit func(*pool, groupNeeds) bool, now clock.Millis) (*pool, *taskGroup) {
+	for {
+		var pool *pool
+		var first *taskGroup
+		for p, list := range c.blocked {
+			match := func(n groupNeeds) bool { return c.allowsBeside(n.smallestHeld, more) && mayFit(p, n) }
+			for g := range list.Matching(match) {
+				if match(g.Summary()) {
+					if first == nil || g.Before(first) {
+						pool, first = p, g
+					}
+					break
+				}
+			}
+		}
+		if first == nil || first.rank.Until == 0 || first.rank.Until > now {
+			return pool, first
+		}
+		// The ranks of blocked groups are not updated at their end.
+		c.blocked[pool].Remove(first)
+		first.rank = s.rankPolicy.Rank(first.rec, first.key.occurrence, now)
+		c.blocked[pool].Insert(first)
+	}
+}
+
+// unblock moves a group back to the ranked list of its pool. From now on it waits for
+// a worker.
+func (s *Scheduler[P, H]) unblock(p *pool, g *taskGroup, now clock.Millis) {
+	p.removeGroup(g)
+	g.waitingSince = now
+	s.addGroup(p, g, now)
+	s.dirtyPools[p] = true
+}
+
+// unblockAll unblocks all groups of a customer.
+func (s *Scheduler[P, H]) unblockAll(c *customer, now clock.Millis) {
+	for p, list := range maps.Clone(c.blocked) {
+		for _, g := range slices.Collect(list.All()) {
+			s.unblock(p, g, now)
+		}
+	}
+}
+
+// unblockRest unblocks some groups of each customer whose quota lets them start,
+// although no worker has room for them, so that the next passes find fewer. It forgets
+// the customers that have no such group.
+func (s *Scheduler[P, H]) unblockRest(now clock.Millis) {
+	anyPool := func(*pool, groupNeeds) bool { return true }
+	for c := range s.unblocking {
+		for range unblockRestLimit {
+			p, g := s.nextBlocked(c, jobs.Resources{}, anyPool, now)
+			if g == nil {
+				delete(s.unblocking, c)
+				break
+			}
+			s.unblock(p, g, now)
+		}
+	}
+}
+
+// startableGroups iterates over the groups of a pool whose tasks wait for a worker and
+// not for their quota, with the number of such tasks. The groups of one customer
+// together have no more tasks than its quota lets start.
+func (s *Scheduler[P, H]) startableGroups(p *pool) iter.Seq2[*taskGroup, int] {
+	return func(yield func(*taskGroup, int) bool) {
+		counted := map[*customer]jobs.Resources{}
+		visit := func(g *taskGroup) bool {
+			if !g.live() {
+				return true
+			}
+			n := g.customer.startable(g, counted[g.customer])
+			if n == 0 {
+				return true
+			}
+			if g.customer != nil && g.customer.limited {
+				counted[g.customer] = counted[g.customer].Plus(g.heldBy(n))
+			}
+			return yield(g, n)
+		}
+		for g := range p.groups.All() {
+			if !visit(g) {
+				return
+			}
+		}
+		for c := range s.unblocking {
+			list := c.blocked[p]
+			if list == nil {
+				continue
+			}
+			for g := range list.Matching(func(n groupNeeds) bool { return c.allowsBeside(n.smallestHeld, counted[c]) }) {
+				if !visit(g) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// hasWaiting reports whether tasks of a pool wait for a worker.
+func (s *Scheduler[P, H]) hasWaiting(p *pool) bool {
+	for range s.startableGroups(p) {
+		return true
+	}
+	return false
+}
+
+// countArrival counts the work of all steps of an occurrence as newly arrived in the
+// pool. Of the work of a customer with a quota of processors it counts no more than what
+// is left of the quota could do until the next update of the arrival rate.
+func (s *Scheduler[P, H]) countArrival(p *pool, rec *jobs.Record) {
+	c := s.customer(rec.Customer)
+	work := clock.Millis(0)
+	for i := range rec.Steps {
+		if step := &rec.Steps[i]; c.allows(quotaNeed(step)) {
+			work += finiteMilliCoreMillis(step, step.TaskCount, step.Estimate)
+		}
+	}
+	if c != nil && c.quota.MilliCores < math.MaxInt && c.limited {
+		left := clock.Millis(max(0, c.quota.MilliCores-c.held.MilliCores)) * rebalancePeriodMillis
+		work = min(work, max(0, left-p.newByCustomer[c]))
+		p.newByCustomer[c] += work
+	}
+	p.newMilliCoreMillis += work
+}
+
+// noteQuotas adds a note when tasks of a customer begin to wait for its quota, and one
+// when none has waited for quotaNotePeriodMillis.
+func (s *Scheduler[P, H]) noteQuotas(now clock.Millis) {
+	for _, c := range s.newWaits {
+		if c.waitNoted = c.blockedCount > 0; c.waitNoted {
+			s.noteFleet(DecisionQuotaWait, fmt.Sprintf("tasks of %d steps of customer %s wait for its quota: %s", c.blockedCount, c.name, c.explain()))
+		}
+	}
+	s.newWaits = nil
+	if now < s.quotasNotedAt+quotaNotePeriodMillis {
+		return
+	}
+	s.quotasNotedAt = now
+	for _, name := range slices.Sorted(maps.Keys(s.customers)) {
+		if c := s.customers[name]; c.waitNoted && c.blockedCount == 0 && now-c.blockedAt >= quotaNotePeriodMillis {
+			c.waitNoted = false
+			s.noteFleet(DecisionQuotaWaitEnded, fmt.Sprintf("no task of customer %s waits for its quota: %s", name, c.explain()))
+		}
+	}
+}
+
+// explain describes for logs what the customer holds of its quota.
+func (c *customer) explain() string {
+	text := ""
+	add := func(held, quota int, unit string) {
+		if text != "" {
+			text += ", "
+		}
+		text += fmt.Sprintf("%d", held)
+		if c.limited && quota < math.MaxInt {
+			text += fmt.Sprintf(" of %d", quota)
+		}
+		text += " " + unit
+	}
+	add(c.held.MilliCores, c.quota.MilliCores, "milli-cores")
+	add(c.held.MemoryMiB, c.quota.MemoryMiB, "MiB")
+	add(c.held.Accelerators, c.quota.Accelerators, "accelerators")
+	return text
+}
--- a/core/state/sched/reserve.go
+++ b/core/state/sched/reserve.go
@@ -27,9 +27,9 @@
 // group, one for each task; a worker may occur more than once.
 type groupHosts struct {
 	workers []*worker
-	// waiting is the number of waiting tasks for which the workers were chosen, and
+	// tasks is the number of waiting tasks for which the workers were chosen, and
 	// chosenAt the time of that.
-	waiting  int
+	tasks    int
 	chosenAt clock.Millis
 }
 
@@ -56,24 +56,30 @@
 // reserve reserves the resources of a group's waiting long-running tasks on the
 // workers that can run them the soonest, so that groups of lower rank leave these
 // resources free. Without this, smaller tasks would take the resources of each task
-// that ends, and a large task would never find enough of them on one worker.
+// that ends, and a large task would never find enough of them on one worker. Nothing is
+// reserved for the tasks that the customer's quota does not let start.
 func (s *Scheduler[P, H]) reserve(p *pool, g *taskGroup, now clock.Millis) {
 	reserved := g.reserved
 	if !g.step.LongRunning || reserved == (jobs.Resources{}) {
 		return
 	}
-	if !s.hostsAreCurrent(g, now) {
-		g.hosts = groupHosts{workers: s.chooseHosts(p, g, now), waiting: len(g.waiting), chosenAt: now}
+	tasks := p.reservable(g)
+	if tasks == 0 {
+		return
+	}
+	if !s.hostsAreCurrent(g, tasks, now) {
+		g.hosts = groupHosts{workers: s.chooseHosts(p, g, tasks, now), tasks: tasks, chosenAt: now}
 	}
+	p.promise(g, len(g.hosts.workers))
 	for _, w := range g.hosts.workers {
 		p.addReserved(w, reserved)
 	}
 }
 
-// hostsAreCurrent reports whether the hosts of a group were chosen recently for its
-// waiting tasks and can still run them.
-func (s *Scheduler[P, H]) hostsAreCurrent(g *taskGroup, now clock.Millis) bool {
-	return g.hosts.waiting == len(g.waiting) && now-g.hosts.chosenAt < reservationAgeMillis &&
+// hostsAreCurrent reports whether the hosts of a group were chosen recently for the
+// given number of its waiting tasks and can still run them.
+func (s *Scheduler[P, H]) hostsAreCurrent(g *taskGroup, tasks int, now clock.Millis) bool {
+	return g.hosts.tasks == tasks && now-g.hosts.chosenAt < reservationAgeMillis &&
 		!slices.ContainsFunc(g.hosts.workers, func(w *worker) bool { return s.workers[w.id] != w || !s.mayHost(w, g, now) })
 }
 
@@ -85,13 +91,13 @@
 	p.reserved[w] = p.reserved[w].Plus(resources)
 }
 
-// chooseHosts chooses the workers for the waiting tasks of a group. Each worker gets one
-// task before any gets another.
-func (s *Scheduler[P, H]) chooseHosts(p *pool, g *taskGroup, now clock.Millis) []*worker {
+// chooseHosts chooses the workers for some of the waiting tasks of a group. Each worker
+// gets one task before any gets another.
+func (s *Scheduler[P, H]) chooseHosts(p *pool, g *taskGroup, tasks int, now clock.Millis) []*worker {
 	var chosen []*worker
 	reservedBefore := maps.Clone(p.reserved)
-	for perWorker := 0; len(chosen) < len(g.waiting); perWorker++ {
-		missing := len(g.waiting) - len(chosen)
+	for perWorker := 0; len(chosen) < tasks; perWorker++ {
+		missing := tasks - len(chosen)
 		hosts := s.preempt(p, g, s.hosts(p, g, perWorker, now), missing, now)
 		if len(hosts) == 0 {
 			break
@@ -144,8 +150,8 @@
 	if needed.FitsIn(free) {
 		return now, true
 	}
-	for _, resources := range w.unassigned {
-		free = free.Plus(resources)
+	for _, r := range w.unassigned {
+		free = free.Plus(r.reserved)
 	}
 	at = now
 	if len(w.unassigned) > 0 {
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -44,7 +44,17 @@
 	// customersByKey holds the customers of the configuration by the digests of
 	// their keys.
 	customersByKey map[jobs.KeyDigest]jobs.CustomerName
-	advice         adviceState
+	// customers holds the customers of the configurations of this term and of the jobs.
+	// unblocking holds those with blocked groups that may be allowed to start, and
+	// newWaits those whose tasks began to wait for the quota since the latest pass.
+	customers  map[jobs.CustomerName]*customer
+	unblocking map[*customer]bool
+	newWaits   []*customer
+	// quotasNotedAt is the time of the latest check for waits that have ended.
+	quotasNotedAt clock.Millis
+	// placements counts the rounds of placement; the pools take turns by it.
+	placements int
+	advice     adviceState
 	// now is the latest time passed to New, Heartbeat or Pass.
 	now clock.Millis
 	// termStart is when this process became leader.
@@ -135,9 +145,9 @@
 	leaseUntil clock.Millis
 	runs       map[jobs.TaskID]*run
 	// unassigned holds the stop orders for the runs that the worker lists although
-	// they are not assigned to it, with the resources that they use. used is the
-	// sum of these and of the reservations of runs.
-	unassigned map[Stop]jobs.Resources
+	// they are not assigned to it. used is the sum of their reservations and of those
+	// of runs.
+	unassigned map[Stop]unassignedRun
 	// heartbeat is the heartbeat that waits for its reply; nil for none.
 	heartbeat *pendingHeartbeat
 	// cordoned keeps new tasks off a worker whose machine is to be maintained
@@ -203,6 +213,17 @@
 	stopReason   string
 }
 
+// unassignedRun is a run that a worker lists although it is not assigned to it.
+type unassignedRun struct {
+	// customer is nil for a job without a customer and for an unknown one, of which
+	// the resources are unknown too.
+	customer *customer
+	// resources are the full resources of the step, and reserved what the run
+	// reserves on its worker.
+	resources jobs.Resources
+	reserved  jobs.Resources
+}
+
 // New returns the scheduler of a leader whose term starts at now. state is a
 // copy of the committed state. A task that is assigned in it may run on its
 // worker until the longest possible lease has ended, even if the worker never
@@ -214,7 +235,7 @@
 		pools: map[jobs.PoolName]*pool{}, waves: map[int]*wave{}, maintenanceDue: map[jobs.MachineID]bool{}, absences: map[jobs.MachineID]*absence{},
 		dirtyPools: map[*pool]bool{}, fleet: newMachineFleet(), removedIncarnations: map[jobs.WorkerID]jobs.Incarnation{},
 		avoided: map[jobs.TaskID][]avoidedWorker{}, failures: map[jobs.ID]*jobFailures{},
-		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
+		customers: map[jobs.CustomerName]*customer{}, unblocking: map[*customer]bool{}, advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
 	}
 	s.readConfig()
 	for _, rec := range state.Jobs {
@@ -257,11 +278,13 @@
 func (s *Scheduler[P, H]) addRun(w *worker, r *run) {
 	w.runs[r.task] = r
 	w.used = w.used.Plus(reservation(r.step))
+	s.addHeld(s.customer(r.rec.Customer), r.step.Resources)
 }
 
 func (s *Scheduler[P, H]) removeRun(w *worker, r *run) {
 	delete(w.runs, r.task)
 	w.used = w.used.Minus(reservation(r.step))
+	s.removeHeld(s.customer(r.rec.Customer), r.step.Resources)
 }
 
 // reservation returns the resources that a task reserves on its worker. A
@@ -283,8 +306,8 @@
 // PendingOps returns the number of operations that no plan contains yet.
 func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
 
-// readConfig rebuilds poolByQueue, configuredPools, queueAdvice and customersByKey if
-// the configuration has changed.
+// readConfig rebuilds poolByQueue, configuredPools, queueAdvice, customersByKey and the
+// quotas if the configuration has changed.
 func (s *Scheduler[P, H]) readConfig() {
 	c := &s.State.Config
 	if s.poolByQueue != nil && c.Version == s.configVersion {
@@ -292,6 +315,7 @@
 	}
 	s.configVersion = c.Version
 	s.customersByKey = c.CustomersByKey()
+	s.readQuotas()
 	s.poolByQueue = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
 	s.configuredPools = make(map[jobs.PoolName]bool, len(c.Pools))
 	for _, p := range c.Pools {
@@ -351,6 +375,7 @@
 func (s *Scheduler[P, H]) noteJobEnd(rec *jobs.Record, now clock.Millis) {
 	lateness := now - Deadline(rec, len(rec.Occurrences)-1)
 	s.forgetAdvice(rec)
+	s.dropBlocked(rec)
 	s.removePending(rec.ID)
 	delete(s.failures, rec.ID)
 	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
--- a/core/state/sched/waiting.go
+++ b/core/state/sched/waiting.go
@@ -106,7 +106,7 @@
 }
 
 // noteWaiting adds notes on the long-running tasks that have not run for
-// longWaitMillis: those that wait, with what excludes the workers, and those that
+// longWaitMillis: those that wait for a worker, with what excludes the workers, and those that
 // are assigned to a worker that does not list them.
 func (s *Scheduler[P, H]) noteWaiting(now clock.Millis) {
 	if now < s.waitingNotedAt+waitingNotePeriodMillis {
@@ -114,13 +114,13 @@
 	}
 	s.waitingNotedAt = now
 	for _, p := range s.pools {
-		for g := range p.groups.All() {
-			if !g.step.LongRunning || !g.live() || now-g.waitingSince < longWaitMillis {
+		for g, tasks := range s.startableGroups(p) {
+			if !g.step.LongRunning || now-g.waitingSince < longWaitMillis {
 				continue
 			}
 			reserved := g.reserved
 			s.noteJob(DecisionTaskWaiting, g.rec, fmt.Sprintf("%d tasks of step %d have waited for %d ms for %d milli-cores and %d MiB each: %s",
-				len(g.waiting), g.key.step, now-g.waitingSince, reserved.MilliCores, reserved.MemoryMiB, s.filterWorkers(g, now)), false)
+				tasks, g.key.step, now-g.waitingSince, reserved.MilliCores, reserved.MemoryMiB, s.filterWorkers(g, now)), false)
 		}
 	}
 	for _, w := range s.workers {
--- a/core/state/sched/wave.go
+++ b/core/state/sched/wave.go
@@ -238,7 +238,7 @@
 			cost++
 		}
 	}
-	if s.pool(w.pool).hasWaiting() {
+	if s.hasWaiting(s.pool(w.pool)) {
 		cost += 1000
 	}
 	if w.cordoned {
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -14,6 +14,7 @@
 var waitReasonTexts = map[sched.WaitReason]string{
 	sched.WaitNotDue:       "the occurrence is not due yet",
 	sched.WaitDependencies: "an earlier step is not done",
+	sched.WaitQuota:        "the customer's tasks hold all of its quota that the next start needs: wait until some end, or raise the quota",
 	sched.WaitNoWorkers:    "no worker of the pool has sent a heartbeat recently: add machines to the pool or start their workers",
 	sched.WaitLabel:        "no worker of the pool has the required label: add a machine with it",
 	sched.WaitSize:         "no worker of the pool is large enough even when it is idle: lower the resources that each task requires, or add a larger machine",
