Check quotas in a simulation of a fleet with faults

Cause: a group that had no waiting tasks left, such as a started gang, could be put among the blocked ones and stay there.

Change: only groups with waiting tasks are blocked. TestSimulatedQuotas plays the simulation of long-running tasks with three customers, jobs without one, changes of quotas, best-effort tasks and tasks whose label no worker has. It checks starts against the quotas, in the plans and on the workers, recounts what customers hold, and looks for tasks that wait although the quota and a worker have room.

--- a/core/state/sched/liveness_simulation_test.go
+++ b/core/state/sched/liveness_simulation_test.go
@@ -41,6 +41,9 @@
 	lateSince map[jobs.TaskID]clock.Millis
 	// longJobs counts the jobs that submitLongRunning has submitted.
 	longJobs int
+	// mayRun reports whether a limit other than the room of the workers lets a task
+	// run; nil for no such limit.
+	mayRun func(rec *jobs.Record, t jobs.TaskID) bool
 }
 
 func newLivenessSimulation(seed uint64) *livenessSimulation {
@@ -119,7 +122,7 @@
 	}
 	sim.leader.scheduler.Submit(jobs.Job{
 		ID: jobs.ID(fmt.Sprint("long", sim.longJobs)), Queue: "long", Pool: "r", MaxAttempts: simMaxAttempts, Target: 3000, StretchPermille: 1500,
-		Steps: []jobs.Step{step},
+		Steps: []jobs.Step{step}, Customer: sim.pickCustomer(),
 	}, sim.leaderNow())
 }
 
@@ -164,7 +167,7 @@
 			if running[t] || sim.ranAt[t] == 0 {
 				sim.ranAt[t] = max(sim.now, rec.DueAt(t.Occurrence))
 			}
-			if sim.now-sim.ranAt[t] <= simRestartMillis || !sim.hasRoom(rec, t) {
+			if sim.now-sim.ranAt[t] <= simRestartMillis || !sim.hasRoom(rec, t) || (sim.mayRun != nil && !sim.mayRun(rec, t)) {
 				sim.lateSince[t] = sim.now
 			}
 			if sim.now-sim.lateSince[t] > simAbsenceMillis && sim.now-sim.faultAt > simCalmMillis+simAbsenceMillis {
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -384,6 +384,9 @@
 			if to := s.poolOf(g.rec); to != name {
 				q := s.pool(to)
 				p.removeGroup(g)
+				if !g.live() {
+					continue
+				}
 				g.rankEndAt = 0
 				s.addGroup(q, g, now)
 				s.dirtyPools[q] = true
--- a/core/state/sched/quota.go
+++ b/core/state/sched/quota.go
@@ -18,6 +18,9 @@
 	// pass unblocks at most. Each further round doubles it, so that a pass takes few
 	// rounds even if most of the groups can't be placed for another reason.
 	unblockLimit = 4
+	// blockLeadingLimit is the number of groups that a pass looks at beyond those that
+	// may fit on a worker, to block those that wait for their quota.
+	blockLeadingLimit = 8
 	// unblockRestLimit is the number of groups of a customer that a pass unblocks
 	// beyond those that may fit on a worker.
 	unblockRestLimit = 8
@@ -226,16 +229,19 @@
 	c.blockedCount--
 }
 
-// blockLeading blocks the groups at the start of the ranked list that wait for their
-// quota, up to unblockRestLimit. A pass does not come to them while no worker of the
+// blockLeading blocks those of the first few groups of the ranked list that wait for
+// their quota. A pass does not come to them while no worker of the
 // pool has room, and readers of the list would go through them each time.
 func (s *Scheduler[P, H]) blockLeading(p *pool, now clock.Millis) {
 	var blocked []*taskGroup
+	visited := 0
 	for g := range p.groups.All() {
-		if len(blocked) == unblockRestLimit || g.withinQuota() {
+		if g.live() && !g.withinQuota() {
+			blocked = append(blocked, g)
+		}
+		if visited++; visited == blockLeadingLimit {
 			break
 		}
-		blocked = append(blocked, g)
 	}
 	for _, g := range blocked {
 		s.block(p, g, now)
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -87,12 +87,28 @@
 	faultsOff bool
 	// maxClockOffset limits the clock offsets of leaders.
 	maxClockOffset clock.Millis
+	// maxJobs limits the number of submitted jobs.
+	maxJobs int
+	// customers are those that submit jobs; none for jobs without a customer.
+	customers []jobs.CustomerName
+	// checkPlan checks a plan of the current leader, and checkRunning the runs on the
+	// workers after a start; nil for no check.
+	checkPlan    func(s *testScheduler, p Plan)
+	checkRunning func(started jobs.TaskID)
+}
+
+// pickCustomer returns the customer of the next job.
+func (sim *simulation) pickCustomer() jobs.CustomerName {
+	if len(sim.customers) == 0 {
+		return ""
+	}
+	return sim.customers[sim.rand.IntN(len(sim.customers))]
 }
 
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: 100_000, committed: jobs.New(), done: map[jobs.TaskID]bool{},
-		failures: map[jobs.TaskID]int{}, countedFailures: map[runKey]bool{}, started: map[jobs.ID]bool{}, nextIncarnation: 1, settings: Defaults(),
+		failures: map[jobs.TaskID]int{}, countedFailures: map[runKey]bool{}, started: map[jobs.ID]bool{}, nextIncarnation: 1, settings: Defaults(), maxJobs: 12,
 	}
 	sim.settings.BacklogTargetMillis = 0
 	sim.settings.LateHeartbeatMillis = 10 * clock.Second
@@ -139,7 +155,7 @@
 	for n, w := range sim.workers {
 		sim.stepWorker(n, w)
 	}
-	if sim.rand.IntN(8) == 0 && sim.submitted < 12 && !sim.faultsOff {
+	if sim.rand.IntN(8) == 0 && sim.submitted < sim.maxJobs && !sim.faultsOff {
 		sim.submit()
 	}
 	if !sim.faultsOff {
@@ -180,6 +196,7 @@
 	if sim.rand.IntN(6) == 0 {
 		j.OccurrenceCount, j.FirstDue, j.Interval = 2, sim.now+clock.Millis(sim.rand.IntN(2000)), 500
 	}
+	j.Customer = sim.pickCustomer()
 	sim.leader.scheduler.Submit(j, sim.leaderNow())
 	// A submitter resends a request that was not answered.
 	if sim.rand.IntN(3) == 0 {
@@ -197,7 +214,7 @@
 		sim.workers[n].down = true
 		sim.workers[n] = sim.newWorker(n)
 	case 3:
-		sim.leader.scheduler.Cancel(jobs.CancelKey{Job: jobs.ID(fmt.Sprint("j", 1+sim.rand.IntN(12)))}, sim.leaderNow())
+		sim.leader.scheduler.Cancel(jobs.CancelKey{Job: jobs.ID(fmt.Sprint("j", 1+sim.rand.IntN(sim.maxJobs)))}, sim.leaderNow())
 	case 4:
 		// A network partition: the leader receives no heartbeat of the worker
 		// for seconds.
@@ -214,6 +231,9 @@
 func (sim *simulation) runPass(l *simLeader, leads bool) {
 	p := l.scheduler.Pass(sim.now + l.clockOffset)
 	if leads {
+		if sim.checkPlan != nil {
+			sim.checkPlan(l.scheduler, p)
+		}
 		l.confirmedAt = sim.now
 		sim.commit(p.Ops)
 	} else if len(p.Ops) > 0 || sim.now-l.confirmedAt > maxConfirmAgeMillis {
--- a/core/state/sched/simulation_worker_test.go
+++ b/core/state/sched/simulation_worker_test.go
@@ -112,6 +112,9 @@
 	duration := clock.Millis(100 + sim.rand.IntN(900))
 	w.runs[s.Task] = &simRun{run: s.Run, startedAt: sim.now, duration: duration, fails: w.failing || sim.rand.IntN(25) == 0, checkpoint: s.Checkpoint}
 	sim.checkGang(w, s)
+	if sim.checkRunning != nil {
+		sim.checkRunning(s.Task)
+	}
 }
 
 // checkGang checks that the running tasks of a gang share their run number and
