--- a/core/state/sched/consistency_test.go
+++ b/core/state/sched/consistency_test.go
@@ -81,7 +81,7 @@
 		for p, list := range c.blocked {
 			for g := range list.All() {
 				blocked++
-				if !g.blocked || g.customer != c || p.groupByStep[g.key] != g || !g.live() {
+				if !g.blocked || g.customer != c || p.groupByStep[g.key] != g.taskGroup || !g.live() {
 					failf("group %v, %+v, must not be among the blocked ones of customer %s", g.key, g, name)
 				}
 				if g.withinQuota() && !s.unblocking[c] {
@@ -100,7 +100,9 @@
 	groups := slices.Collect(p.groups.All())
 	for _, c := range s.customers {
 		if list := c.blocked[p]; list != nil {
-			groups = slices.AppendSeq(groups, list.All())
+			for g := range list.All() {
+				groups = append(groups, g.taskGroup)
+			}
 		}
 	}
 	return groups
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -204,7 +204,7 @@
 
 // Summary returns the needs of the group.
 func (g *taskGroup) Summary() groupNeeds {
-	return groupNeeds{smallest: g.reserved, smallestHeld: g.need, special: g.step.LongRunning || g.step.Gang}
+	return groupNeeds{smallest: g.reserved, special: g.step.LongRunning || g.step.Gang}
 }
 
 // live reports whether tasks of the group wait for a worker.
@@ -215,9 +215,6 @@
 type groupNeeds struct {
 	// smallest holds for each resource the least that a task of any group reserves.
 	smallest jobs.Resources
-	// smallestHeld holds for each resource the least that a start adds to what the
-	// customer holds.
-	smallestHeld jobs.Resources
 	// special is set if a group is of long-running tasks or a gang: it may reserve
 	// resources even if it does not fit.
 	special bool
@@ -225,7 +222,7 @@
 
 // Merge returns the needs of the groups of both.
 func (n groupNeeds) Merge(o groupNeeds) groupNeeds {
-	return groupNeeds{smallest: least(n.smallest, o.smallest), smallestHeld: least(n.smallestHeld, o.smallestHeld), special: n.special || o.special}
+	return groupNeeds{smallest: least(n.smallest, o.smallest), special: n.special || o.special}
 }
 
 // least returns the smaller amount of each resource.
--- a/core/state/sched/quota.go
+++ b/core/state/sched/quota.go
@@ -45,7 +45,7 @@
 	// blocked holds the groups that were found to wait for the quota, by pool; no list
 	// is empty. Some of them may be allowed to start if the customer is in
 	// Scheduler.unblocking, and none otherwise. blockedCount is the number of groups.
-	blocked      map[*pool]*order.List[*taskGroup, groupNeeds]
+	blocked      map[*pool]*blockedGroups
 	blockedCount int
 	// blockedAt is when a group was last blocked. waitNoted is set from the note on
 	// the beginning of a wait until the note on its end.
@@ -53,6 +53,31 @@
 	waitNoted bool
 }
 
+// blockedGroups holds groups that wait for a quota, by rank.
+type blockedGroups = order.List[blockedGroup, blockedNeeds]
+
+// blockedGroup is a group that waits for a quota.
+type blockedGroup struct{ *taskGroup }
+
+// Before orders blocked groups like others.
+func (b blockedGroup) Before(other blockedGroup) bool { return b.taskGroup.Before(other.taskGroup) }
+
+// Summary returns the needs of the group.
+func (b blockedGroup) Summary() blockedNeeds { return blockedNeeds{b.taskGroup.Summary(), b.need} }
+
+// blockedNeeds says what the tasks of some blocked groups need at least.
+type blockedNeeds struct {
+	groupNeeds
+	// quota holds for each resource the least that a start of any group needs of the
+	// quota.
+	quota jobs.Resources
+}
+
+// Merge returns the needs of the groups of both.
+func (n blockedNeeds) Merge(o blockedNeeds) blockedNeeds {
+	return blockedNeeds{n.groupNeeds.Merge(o.groupNeeds), least(n.quota, o.quota)}
+}
+
 // customer returns the customer with the given name, and nil, which has no quota, for
 // jobs without a customer.
 func (s *Scheduler[P, H]) customer(name jobs.CustomerName) *customer {
@@ -61,7 +86,7 @@
 	}
 	c := s.customers[name]
 	if c == nil {
-		c = &customer{name: name, blocked: map[*pool]*order.List[*taskGroup, groupNeeds]{}}
+		c = &customer{name: name, blocked: map[*pool]*blockedGroups{}}
 		s.customers[name] = c
 	}
 	return c
@@ -205,10 +230,10 @@
 	c := g.customer
 	list := c.blocked[p]
 	if list == nil {
-		list = &order.List[*taskGroup, groupNeeds]{}
+		list = &blockedGroups{}
 		c.blocked[p] = list
 	}
-	list.Insert(g)
+	list.Insert(blockedGroup{g})
 	g.blocked = true
 	c.blockedCount++
 	c.blockedAt = now
@@ -221,7 +246,7 @@
 // removeBlocked removes a group from the blocked ones.
 func (p *pool) removeBlocked(g *taskGroup) {
 	c := g.customer
-	c.blocked[p].Remove(g)
+	c.blocked[p].Remove(blockedGroup{g})
 	if c.blocked[p].Len() == 0 {
 		delete(c.blocked, p)
 	}
@@ -299,7 +324,7 @@
 	rooms := map[*pool]*room{}
 	mayFit := func(p *pool, n groupNeeds) bool {
 		if _, ok := rooms[p]; !ok {
-			rooms[p] = newUnblockRoom(p, round)
+			rooms[p] = newUnblockRoom(p, round, now)
 		}
 		return rooms[p] != nil && rooms[p].mayFit(n)
 	}
@@ -320,23 +345,24 @@
 	}
 }
 
-// newUnblockRoom returns the room on the available workers of a pool, and nil if no
-// task can be placed there. In the first round the reservations are those of an earlier
-// pass and don't count.
-func newUnblockRoom(p *pool, round int) *room {
-	switch {
-	case len(p.available) == 0:
+// newUnblockRoom returns the room for finite tasks on the available workers of a pool, and
+// nil if no task can be placed there. In the first round the reservations are those of an
+// earlier pass and don't count.
+func newUnblockRoom(p *pool, round int, now clock.Millis) *room {
+	if len(p.available) == 0 || (round > 0 && p.heldByGang) {
 		return nil
-	case round > 0:
-		if p.heldByGang {
-			return nil
+	}
+	r := &room{}
+	for _, w := range p.available {
+		switch {
+		case w.quarantinedUntil > now || w.vacating:
+		case round == 0:
+			r.add(w.capacity.Minus(w.used))
+		default:
+			r.add(p.free(w))
 		}
-	default:
-		reserved := p.reserved
-		p.reserved = nil
-		defer func() { p.reserved = reserved }()
 	}
-	return newRoom(p)
+	return r
 }
 
 // nextBlocked returns the blocked group of a customer that ranks first among those that
@@ -347,11 +373,11 @@
 		var pool *pool
 		var first *taskGroup
 		for p, list := range c.blocked {
-			match := func(n groupNeeds) bool { return c.allowsBeside(n.smallestHeld, more) && mayFit(p, n) }
+			match := func(n blockedNeeds) bool { return c.allowsBeside(n.quota, more) && mayFit(p, n.groupNeeds) }
 			for g := range list.Matching(match) {
 				if match(g.Summary()) {
-					if first == nil || g.Before(first) {
-						pool, first = p, g
+					if first == nil || g.taskGroup.Before(first) {
+						pool, first = p, g.taskGroup
 					}
 					break
 				}
@@ -361,9 +387,9 @@
 			return pool, first
 		}
 		// The ranks of blocked groups are not updated at their end.
-		c.blocked[pool].Remove(first)
+		c.blocked[pool].Remove(blockedGroup{first})
 		first.rank = s.rankPolicy.Rank(first.rec, first.key.occurrence, now)
-		c.blocked[pool].Insert(first)
+		c.blocked[pool].Insert(blockedGroup{first})
 	}
 }
 
@@ -380,7 +406,7 @@
 func (s *Scheduler[P, H]) unblockAll(c *customer, now clock.Millis) {
 	for p, list := range maps.Clone(c.blocked) {
 		for _, g := range slices.Collect(list.All()) {
-			s.unblock(p, g, now)
+			s.unblock(p, g.taskGroup, now)
 		}
 	}
 }
@@ -407,7 +433,7 @@
 // together have no more tasks than its quota lets start.
 func (s *Scheduler[P, H]) startableGroups(p *pool) iter.Seq2[*taskGroup, int] {
 	return func(yield func(*taskGroup, int) bool) {
-		counted := map[*customer]jobs.Resources{}
+		var counted map[*customer]jobs.Resources
 		visit := func(g *taskGroup) bool {
 			if !g.live() {
 				return true
@@ -417,6 +443,9 @@
 				return true
 			}
 			if g.customer != nil && g.customer.limited {
+				if counted == nil {
+					counted = map[*customer]jobs.Resources{}
+				}
 				counted[g.customer] = counted[g.customer].Plus(g.heldBy(n))
 			}
 			return yield(g, n)
@@ -431,8 +460,8 @@
 			if list == nil {
 				continue
 			}
-			for g := range list.Matching(func(n groupNeeds) bool { return c.allowsBeside(n.smallestHeld, counted[c]) }) {
-				if !visit(g) {
+			for g := range list.Matching(func(n blockedNeeds) bool { return c.allowsBeside(n.quota, counted[c]) }) {
+				if !visit(g.taskGroup) {
 					return
 				}
 			}
@@ -442,8 +471,17 @@
 
 // hasWaiting reports whether tasks of a pool wait for a worker.
 func (s *Scheduler[P, H]) hasWaiting(p *pool) bool {
-	for range s.startableGroups(p) {
-		return true
+	for g := range p.groups.All() {
+		if g.live() && g.withinQuota() {
+			return true
+		}
+	}
+	for c := range s.unblocking {
+		if list := c.blocked[p]; list != nil {
+			for range list.Matching(func(n blockedNeeds) bool { return c.allows(n.quota) }) {
+				return true
+			}
+		}
 	}
 	return false
 }
--- a/core/state/sched/room.go
+++ b/core/state/sched/room.go
@@ -27,13 +27,17 @@
 func (r *room) update(p *pool) {
 	r.largest = jobs.Resources{}
 	for _, w := range p.available {
-		free := p.free(w)
-		r.largest.MilliCores = max(r.largest.MilliCores, free.MilliCores)
-		r.largest.MemoryMiB = max(r.largest.MemoryMiB, free.MemoryMiB)
-		r.largest.Accelerators = max(r.largest.Accelerators, free.Accelerators)
+		r.add(p.free(w))
 	}
 }
 
+// add extends largest to what is free on a worker.
+func (r *room) add(free jobs.Resources) {
+	r.largest.MilliCores = max(r.largest.MilliCores, free.MilliCores)
+	r.largest.MemoryMiB = max(r.largest.MemoryMiB, free.MemoryMiB)
+	r.largest.Accelerators = max(r.largest.Accelerators, free.Accelerators)
+}
+
 // exclude notes that a reservation fits on no worker.
 func (r *room) exclude(reserved jobs.Resources) {
 	r.excluded = slices.DeleteFunc(r.excluded, reserved.FitsIn)
