Show the figures of a quota in the explanation of a job

Cause: explain job named the limit quota without what the customer holds.

Change: StepReport.WaitDetail has the figures behind a wait reason, a new field on the wire, in the text and in the JSON of the report. For a quota they are what the customer's tasks hold, its quota and what the next start needs.

--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -63,8 +63,10 @@
 	// Runs counts the starts of all tasks, and Failures the failed runs.
 	Runs     int
 	Failures int
-	// WaitReason applies to the waiting tasks.
+	// WaitReason applies to the waiting tasks. WaitDetail has the figures that explain
+	// it; empty for a reason without any.
 	WaitReason WaitReason
+	WaitDetail string
 }
 
 // RunReport describes a run of a task that is assigned to a worker.
@@ -164,6 +166,9 @@
 	default:
 		report.WaitReason = s.waitReason(rec, occurrence, step, now)
 	}
+	if report.WaitReason == WaitQuota {
+		report.WaitDetail = s.customer(rec.Customer).explainWait(&rec.Steps[step])
+	}
 	return report
 }
 
--- a/core/state/sched/quota.go
+++ b/core/state/sched/quota.go
@@ -526,7 +526,17 @@
 	}
 }
 
-// explain describes for logs what the customer holds of its quota.
+// explainWait describes why no task of a step starts within the quota.
+func (c *customer) explainWait(step *jobs.Step) string {
+	need, what := quotaNeed(step), "a task"
+	if step.Gang {
+		what = "the gang"
+	}
+	return fmt.Sprintf("the tasks of customer %s hold %s, and %s needs %d milli-cores, %d MiB, %d accelerators",
+		c.name, c.explain(), what, need.MilliCores, need.MemoryMiB, need.Accelerators)
+}
+
+// explain describes for logs and reports what the customer holds of its quota.
 func (c *customer) explain() string {
 	text := ""
 	add := func(held, quota int, unit string) {
--- a/core/state/sched/quota_test.go
+++ b/core/state/sched/quota_test.go
@@ -113,7 +113,10 @@
 	started := f.pass()
 	assert.Equal(t, len(started), 10)
 	assert.Equal(t, f.customers["a"].held, jobs.Resources{MilliCores: 4000, MemoryMiB: 400})
-	assert.Equal(t, f.waitReason("second"), WaitQuota)
+	report, _ := f.Explain("second", f.now)
+	assert.Equal(t, report.Steps[0].WaitReason, WaitQuota)
+	assert.Equal(t, report.Steps[0].WaitDetail,
+		"the tasks of customer a hold 4000 of 4000 milli-cores, 400 MiB, 0 accelerators, and a task needs 1000 milli-cores, 100 MiB, 0 accelerators")
 	f.now += 100
 	f.beat("w1", "p")
 	assert.Equal(t, len(f.pass()), 0)
--- a/io/proto/codec/call.go
+++ b/io/proto/codec/call.go
@@ -109,6 +109,7 @@
 			return &wirepb.JobStepReport{
 				Occurrence: int64(s.Occurrence), Step: int64(s.Step), Tasks: int64(s.Tasks), Done: int64(s.Done),
 				Running: int64(s.Running), Waiting: int64(s.Waiting), Runs: int64(s.Runs), Fails: int64(s.Failures), Limit: validUTF8(s.WaitReason),
+				LimitDetail: validUTF8(s.WaitDetail),
 			}
 		}),
 		Runs: mapAll(r.Runs, func(run sched.RunReport) *wirepb.JobRunReport {
@@ -132,7 +133,7 @@
 		r.Steps = append(r.Steps, sched.StepReport{
 			Occurrence: int(s.GetOccurrence()), Step: int(s.GetStep()), Tasks: int(s.GetTasks()), Done: int(s.GetDone()),
 			Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Runs: int(s.GetRuns()), Failures: int(s.GetFails()),
-			WaitReason: sched.WaitReason(s.GetLimit()),
+			WaitReason: sched.WaitReason(s.GetLimit()), WaitDetail: s.GetLimitDetail(),
 		})
 	}
 	for _, run := range w.GetRuns() {
--- a/io/proto/codec/call_test.go
+++ b/io/proto/codec/call_test.go
@@ -31,7 +31,7 @@
 		{Report: &sched.JobReport{
 			JobSummary: summary, Pool: "p", Now: 7, EndedAt: 6,
 			Steps: []sched.StepReport{{
-				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Failures: 1, WaitReason: sched.WaitCapacity,
+				Occurrence: 1, Step: 2, Tasks: 9, Done: 3, Running: 4, Waiting: 2, Runs: 8, Failures: 1, WaitReason: sched.WaitCapacity, WaitDetail: "d",
 			}},
 			Runs: []sched.RunReport{{
 				Task: jobs.TaskID{Job: "a", Occurrence: 1, Step: 2, Index: 3}, Run: 2, Worker: "w", Percent: 40, StartedAt: 6, StopReason: "s",
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -14,7 +14,7 @@
 var waitReasonTexts = map[sched.WaitReason]string{
 	sched.WaitNotDue:       "the occurrence is not due yet",
 	sched.WaitDependencies: "an earlier step is not done",
-	sched.WaitQuota:        "the customer's tasks hold all of its quota that the next start needs: wait until some end, or raise the quota",
+	sched.WaitQuota:        "the quota of the job's customer does not let another task start: wait until some of its tasks end, or raise the quota",
 	sched.WaitNoWorkers:    "no worker of the pool has sent a heartbeat recently: add machines to the pool or start their workers",
 	sched.WaitLabel:        "no worker of the pool has the required label: add a machine with it",
 	sched.WaitSize:         "no worker of the pool is large enough even when it is idle: lower the resources that each task requires, or add a larger machine",
@@ -69,7 +69,11 @@
 	for _, s := range r.Steps {
 		steps.add(s.Occurrence, s.Step, s.Tasks, s.Done, s.Running, s.Waiting, s.Runs, s.Failures, s.WaitReason)
 		if s.WaitReason != sched.WaitNone {
-			reasons = append(reasons, fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, waitReasonText(s.WaitReason)))
+			reason := fmt.Sprintf("occurrence %d step %d: %s", s.Occurrence, s.Step, waitReasonText(s.WaitReason))
+			if s.WaitDetail != "" {
+				reason += " (" + printable(s.WaitDetail) + ")"
+			}
+			reasons = append(reasons, reason)
 		}
 	}
 	writeSection(&b, "Steps", steps)
@@ -108,6 +112,7 @@
 				{"runs", s.Runs},
 				{"failed", s.Failures},
 				{"waits-for", s.WaitReason},
+				{"waits-for-detail", s.WaitDetail},
 			}
 		})},
 		{"running", mapObjects(r.Runs, func(run sched.RunReport) object {
--- a/io/proto/report/report_test.go
+++ b/io/proto/report/report_test.go
@@ -105,6 +105,7 @@
 		Steps: []sched.StepReport{
 			{Step: 0, Tasks: 4, Done: 2, Running: 1, Waiting: 1, Runs: 5, Failures: 1, WaitReason: sched.WaitCapacity},
 			{Step: 1, Tasks: 2, Waiting: 2, WaitReason: sched.WaitDependencies},
+			{Step: 2, Tasks: 2, Waiting: 2, WaitReason: sched.WaitQuota, WaitDetail: "the tasks of customer a hold 4000 of 4000 milli-cores\x1b[31m"},
 		},
 		Runs: []sched.RunReport{{
 			Task: jobs.TaskID{Job: "j-1", Index: 2}, Run: 2, Worker: "i-7", Percent: 40, StartedAt: start - 700, StopReason: "it makes no progress",
