--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -323,8 +323,9 @@
 		return s.settings.MinRetryMillis
 	}
 	longest := s.settings.MaxRetryMillis
-	if s.hasWaiting(s.pool(w.pool)) {
-		// Waiting tasks should get the resources of a task soon after it ends.
+	if s.hasWaiting(s.pool(w.pool)) || w.holdsAwaitedQuota() {
+		// Waiting tasks should get the resources, or the quota, of a task soon after it
+		// ends.
 		longest = 2 * s.settings.MinRetryMillis
 	}
 	return min(max(end-now, s.settings.MinRetryMillis), longest)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -194,6 +194,8 @@
 	number int
 	rec    *jobs.Record
 	step   *jobs.Step
+	// customer is that of the job. addRun sets it.
+	customer *customer
 	// listed is set if the worker's latest heartbeat lists the run. Otherwise,
 	// unlistedSince is when the first heartbeat in a row without it was processed; 0
 	// for none.
@@ -278,13 +280,14 @@
 func (s *Scheduler[P, H]) addRun(w *worker, r *run) {
 	w.runs[r.task] = r
 	w.used = w.used.Plus(reservation(r.step))
-	s.addHeld(s.customer(r.rec.Customer), r.step.Resources)
+	r.customer = s.customer(r.rec.Customer)
+	s.addHeld(r.customer, r.step.Resources)
 }
 
 func (s *Scheduler[P, H]) removeRun(w *worker, r *run) {
 	delete(w.runs, r.task)
 	w.used = w.used.Minus(reservation(r.step))
-	s.removeHeld(s.customer(r.rec.Customer), r.step.Resources)
+	s.removeHeld(r.customer, r.step.Resources)
 }
 
 // reservation returns the resources that a task reserves on its worker. A
