--- a/core/state/sched/customers.go
+++ b/core/state/sched/customers.go
@@ -27,7 +27,7 @@
 
 // Customers returns a report on each customer of the configuration and on each other one
 // that has runs or waiting tasks, sorted by name. Jobs without a customer are left out.
-// It reads all runs and all groups of waiting tasks.
+// It reads all groups of waiting tasks.
 func (s *Scheduler[P, H]) Customers() []CustomerReport {
 	byName := map[jobs.CustomerName]*CustomerReport{}
 	report := func(name jobs.CustomerName) *CustomerReport {
@@ -39,8 +39,10 @@
 	for _, c := range s.State.Config.Customers {
 		*report(c.Name) = CustomerReport{Name: c.Name, Configured: true, WeightPermille: c.WeightPermille, Quota: c.Quota}
 	}
-	for name, held := range s.heldByCustomer() {
-		report(name).Held = held
+	for name, c := range s.customers {
+		if c.held != (jobs.Resources{}) {
+			report(name).Held = c.held
+		}
 	}
 	for name, tasks := range s.waitingByCustomer() {
 		report(name).WaitingTasks = tasks
@@ -53,36 +55,11 @@
 	return reports
 }
 
-// heldByCustomer returns the sum of the resources of each customer's runs: of those that
-// are assigned to a worker, also while they are being stopped or their worker is silent,
-// and of those that a worker lists although they are not assigned to it. It counts the
-// full resources of each task, also of a best-effort one.
-func (s *Scheduler[P, H]) heldByCustomer() map[jobs.CustomerName]jobs.Resources {
-	held := map[jobs.CustomerName]jobs.Resources{}
-	add := func(rec *jobs.Record, step int) {
-		if rec.Customer != "" {
-			held[rec.Customer] = held[rec.Customer].Plus(rec.Steps[step].Resources)
-		}
-	}
-	for _, w := range s.workers {
-		for id, r := range w.runs {
-			add(r.rec, id.Step)
-		}
-		for stop := range w.unassigned {
-			rec := s.State.Jobs[stop.Task.Job]
-			if rec != nil && stop.Task.Step >= 0 && stop.Task.Step < len(rec.Steps) {
-				add(rec, stop.Task.Step)
-			}
-		}
-	}
-	return held
-}
-
 // waitingByCustomer returns the number of waiting tasks of each customer that may start.
 func (s *Scheduler[P, H]) waitingByCustomer() map[jobs.CustomerName]int {
 	waiting := map[jobs.CustomerName]int{}
 	for _, p := range s.pools {
-		for g := range p.groups.All() {
+		for _, g := range p.groupByStep {
 			if g.live() && g.rec.Customer != "" {
 				waiting[g.rec.Customer] += len(g.waiting)
 			}
--- a/core/state/sched/late_end.go
+++ b/core/state/sched/late_end.go
@@ -40,9 +40,7 @@
 	if state.Phase == jobs.PhaseDone {
 		return
 	}
-	if g := s.pool(s.poolOf(rec)).groupByStep[stepKeyOf(e.Task)]; g != nil {
-		g.waiting = slices.DeleteFunc(g.waiting, func(index int) bool { return index == e.Task.Index })
-	}
+	s.unqueueTask(rec, e.Task)
 	later, run := s.assignedRun(e.Task, state)
 	s.apply(jobs.Op{Kind: jobs.OpEnd, Task: e.Task, Run: e.Run, Worker: w.id, Incarnation: w.incarnation, Result: jobs.ResultDone, Late: true}, now)
 	s.plan.Notes = append(s.plan.Notes, Note{
@@ -60,3 +58,16 @@
 	}
 	s.queueDependents(rec, e.Task, now)
 }
+
+// unqueueTask removes a task from the waiting ones of its group, if it is one of them.
+func (s *Scheduler[P, H]) unqueueTask(rec *jobs.Record, t jobs.TaskID) {
+	p := s.pool(s.poolOf(rec))
+	g := p.groupByStep[stepKeyOf(t)]
+	if g == nil {
+		return
+	}
+	g.waiting = slices.DeleteFunc(g.waiting, func(index int) bool { return index == t.Index })
+	if g.blocked && len(g.waiting) == 0 {
+		p.removeGroup(g)
+	}
+}
