--- a/core/state/sched/blocked.go
+++ b/core/state/sched/blocked.go
@@ -198,30 +198,30 @@
 }
 
 // nextBlocked returns the blocked group of a customer that ranks first among those that
-// mayFit accepts and that the quota lets start while the customer holds more than held;
-// nil if there is none.
+// mayFit accepts and that the quota lets start while the customer holds more than held,
+// and its pool; nil if there is none.
 func (s *Scheduler[P, H]) nextBlocked(c *customer, more jobs.Resources, mayFit func(*pool, groupNeeds) bool, now clock.Millis) (*pool, *taskGroup) {
 	for {
-		var pool *pool
+		var in *pool
 		var first *taskGroup
 		for p, list := range c.blocked {
 			match := func(n blockedNeeds) bool { return c.allowsBeside(n.quota, more) && mayFit(p, n.groupNeeds) }
 			for g := range list.Matching(match) {
 				if match(g.Summary()) {
 					if first == nil || g.taskGroup.Before(first) {
-						pool, first = p, g.taskGroup
+						in, first = p, g.taskGroup
 					}
 					break
 				}
 			}
 		}
 		if first == nil || first.rank.Until == 0 || first.rank.Until > now {
-			return pool, first
+			return in, first
 		}
 		// The ranks of blocked groups are not updated at their end.
-		c.blocked[pool].Remove(blockedGroup{first})
+		c.blocked[in].Remove(blockedGroup{first})
 		first.rank = s.rankPolicy.Rank(first.rec, first.key.occurrence, now)
-		c.blocked[pool].Insert(blockedGroup{first})
+		c.blocked[in].Insert(blockedGroup{first})
 	}
 }
 
