Share pools by the customers' weights, and rank jobs beyond their rate last

Change: share.go marks the jobs that are accepted beyond weight jobs per second, with a burst of one window, as excess work. It ranks after all entitled work; excess long-running work keeps its class and ranks last in it. A new leader derives the marks from the order and times of acceptance. shareorder.go is a weighted fair queue over the dominant resource. It orders the finite work of a class while more of it waits than fits; otherwise the order by deadline applies. A task that waits because of this reports "share". Excess runs are preempted before entitled ones, and only they for excess long-running work.

Packages sched (-race -short), order and report pass.

--- a/core/state/order/list.go
+++ b/core/state/order/list.go
@@ -115,6 +115,35 @@
 	}
 }
 
+// MatchingFrom returns, like Matching, the values from the first one that does not come
+// before v, which need not be in the list.
+func (l *List[T, S]) MatchingFrom(v T, match func(S) bool) iter.Seq[T] {
+	return func(yield func(T) bool) {
+		for i := l.chunkOf(v); i < len(l.chunks); i++ {
+			if !match(l.chunks[i].summary) {
+				continue
+			}
+			for _, x := range l.chunks[i].items {
+				if !x.Before(v) && !yield(x) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Summary returns the summary of all values; ok is false if the list is empty.
+func (l *List[T, S]) Summary() (summary S, ok bool) {
+	for i := range l.chunks {
+		if i == 0 {
+			summary = l.chunks[i].summary
+			continue
+		}
+		summary = summary.Merge(l.chunks[i].summary)
+	}
+	return summary, len(l.chunks) > 0
+}
+
 // chunkOf returns the index of the first chunk whose last value does not come before
 // v, or the number of chunks if there is none.
 func (l *List[T, S]) chunkOf(v T) int {
--- a/core/state/order/list_test.go
+++ b/core/state/order/list_test.go
@@ -58,3 +58,36 @@
 		}
 	})
 }
+
+// TestListFromValue guards against values that are missing or too many when a list is
+// read from a value, whether or not it is in the list, and against a wrong summary.
+func TestListFromValue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l List[number, least]
+		all := rapid.SliceOfNDistinct(rapid.IntRange(0, 2000), 0, 500, rapid.ID[int]).Draw(t, "values")
+		slices.Sort(all)
+		from := number(rapid.IntRange(0, 2000).Draw(t, "from"))
+		limit := least(-rapid.IntRange(0, 99).Draw(t, "limit"))
+		matches := func(s least) bool { return s <= limit }
+		var got, want []number
+		smallest := least(0)
+		for _, v := range all {
+			n := number(v)
+			l.Insert(n)
+			smallest = min(smallest, n.Summary())
+			if n >= from && matches(n.Summary()) {
+				want = append(want, n)
+			}
+		}
+		for n := range l.MatchingFrom(from, matches) {
+			assert.Assert(t, n >= from)
+			if matches(n.Summary()) {
+				got = append(got, n)
+			}
+		}
+		assert.Assert(t, slices.Equal(got, want))
+		summary, ok := l.Summary()
+		assert.Equal(t, ok, len(all) > 0)
+		assert.Equal(t, summary, smallest)
+	})
+}
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -41,6 +41,10 @@
 	// WaitCapacity means that other tasks use the workers' capacity, or that it is
 	// reserved for tasks of higher rank.
 	WaitCapacity WaitReason = "room"
+	// WaitShare means that the tasks wait for capacity because tasks of other
+	// customers go first: the job is beyond its customer's rate, or its customer has
+	// had more of its share.
+	WaitShare WaitReason = "share"
 	// WaitGang means that the workers have enough free resources for some tasks
 	// of a gang, but not for all.
 	WaitGang WaitReason = "gang-room"
@@ -175,6 +179,9 @@
 	}
 	filtered := s.filterWorkers(g, now)
 	if filtered.last.remaining == 0 {
+		if filtered.last.reason == WaitCapacity && s.waitsForShare(g) {
+			return WaitShare
+		}
 		return filtered.last.reason
 	}
 	if g.step.Gang {
--- a/core/state/sched/gang.go
+++ b/core/state/sched/gang.go
@@ -139,7 +139,7 @@
 // a gang that is late, that has waited for less than gangReserveDelayMillis,
 // that does not fit in the pool or that waits for advice.
 func (s *Scheduler[P, H]) reservesCapacity(p *pool, g *taskGroup, now clock.Millis) bool {
-	if g.rank.Class == classLate || now-g.waitingSince < gangReserveDelayMillis {
+	if g.rank.isLate() || now-g.waitingSince < gangReserveDelayMillis {
 		return false
 	}
 	inPool, _ := s.gangCapacity(p, g, now)
--- a/core/state/sched/heartbeat.go
+++ b/core/state/sched/heartbeat.go
@@ -154,6 +154,7 @@
 		checkpoint = r.checkpoint
 	}
 	s.removeRun(w, r)
+	s.releaseShare(r, now)
 	rec := r.rec
 	previousStatus := rec.Status
 	needed := r.needed()
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -205,7 +205,7 @@
 func (p *pool) waitingMilliCoreMillis() clock.Millis {
 	milliCoreMillis := clock.Millis(0)
 	for g := range p.groups.All() {
-		if g.step.BestEffort || !g.live() || g.rank.Class == classLate {
+		if g.step.BestEffort || !g.live() || g.rank.isLate() {
 			continue
 		}
 		duration := g.step.Estimate
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -73,13 +73,14 @@
 	if p.groups.Len() == 0 || len(p.available) == 0 {
 		return
 	}
+	s.updateContention(p, now)
 	p.reserved = nil
 	room := newRoom(p)
 	// keptOff holds the groups with tasks that are kept off a worker. Nothing is
 	// reserved for them before the other long-running tasks are placed: a task that
 	// fails again and again would keep these from resources that it does not use.
 	var keptOff, ended []*taskGroup
-	for g := range p.groups.Matching(room.mayFit) {
+	for g := range p.candidates(room, &s.shares, now) {
 		if !g.live() {
 			ended = append(ended, g)
 			continue
@@ -123,7 +124,7 @@
 		return
 	}
 	waiting := len(g.waiting)
-	fits := s.placeTasks(p, g, now)
+	fits := s.placeTasks(p, g, p.tasksAtOnce(g), now)
 	if len(g.waiting) < waiting {
 		room.update(p)
 	}
@@ -132,11 +133,11 @@
 	}
 }
 
-// placeTasks assigns the waiting tasks of a group to available workers, until there
-// is none for a task. It returns false if none of the workers has enough free
+// placeTasks assigns up to limit waiting tasks of a group to available workers, until
+// there is none for a task. It returns false if none of the workers has enough free
 // resources for that task.
-func (s *Scheduler[P, H]) placeTasks(p *pool, g *taskGroup, now clock.Millis) bool {
-	for len(g.waiting) > 0 {
+func (s *Scheduler[P, H]) placeTasks(p *pool, g *taskGroup, limit int, now clock.Millis) bool {
+	for ; len(g.waiting) > 0 && limit > 0; limit-- {
 		last := len(g.waiting) - 1
 		t := g.key.taskID(g.waiting[last])
 		w, hasCapacity := s.chooseWorker(p, g, t, now)
@@ -157,6 +158,7 @@
 	r := &run{task: t, number: state.Run + 1, rec: g.rec, step: g.step, assignedAt: now, progressedAt: now, checkpoint: state.Checkpoint}
 	s.apply(jobs.Op{Kind: jobs.OpAssign, Task: t, Run: r.number, Worker: w.id, Incarnation: w.incarnation}, now)
 	s.addRun(w, r)
+	s.holdShare(w, r, now)
 	w.heartbeat.starts = append(w.heartbeat.starts, s.startOrder(w, r))
 	s.replyBy(w, now)
 	s.noteRun(DecisionStarted, r, w, "")
--- a/core/state/sched/preempt.go
+++ b/core/state/sched/preempt.go
@@ -24,17 +24,19 @@
 )
 
 // preemptible is a host on which finite tasks can be stopped for a waiting task, and
-// the work that is lost with them in milli-cores times milliseconds.
+// the work that is lost with them in milli-cores times milliseconds. entitledLost is the
+// part of it that is not excess work.
 type preemptible struct {
-	host    host
-	victims []*run
-	lost    int64
+	host         host
+	victims      []*run
+	lost         int64
+	entitledLost int64
 }
 
 // preempt stops finite tasks for the long-running tasks of a group that have waited
 // for long and would not start in time otherwise. hosts are all workers that can run
 // a task of the group, and missing is the number of its waiting tasks. Tasks are
-// stopped where the least work is lost. preempt returns the hosts in the order of
+// stopped where the least entitled work is lost, then the least work. preempt returns the hosts in the order of
 // preference: those that can run a task in time, those on which tasks were stopped,
 // and the others.
 func (s *Scheduler[P, H]) preempt(p *pool, g *taskGroup, hosts []host, missing int, now clock.Millis) []host {
@@ -46,10 +48,12 @@
 	var candidates []preemptible
 	for _, h := range hosts[inTime:] {
 		if victims, lost := s.chooseVictims(h.w, g, g.reserved.Plus(p.reserved[h.w]), now); len(victims) > 0 {
-			candidates = append(candidates, preemptible{h, victims, lost})
+			candidates = append(candidates, preemptible{h, victims, lost, s.entitledLost(victims, now)})
 		}
 	}
-	slices.SortStableFunc(candidates, func(x, y preemptible) int { return cmp.Compare(x.lost, y.lost) })
+	slices.SortStableFunc(candidates, func(x, y preemptible) int {
+		return cmp.Or(cmp.Compare(x.entitledLost, y.entitledLost), cmp.Compare(x.lost, y.lost))
+	})
 	preferred := slices.Clone(hosts[:inTime])
 	for _, c := range candidates[:min(missing-inTime, len(candidates))] {
 		for _, r := range c.victims {
@@ -75,6 +79,7 @@
 // stopped so that the needed resources become free, and the work that is lost with
 // them in milli-cores times milliseconds. It returns none if that is not enough.
 // The tasks of gangs are never chosen, because all others of the gang would stop.
+// Excess runs are chosen before entitled ones, and only they are for excess work.
 func (s *Scheduler[P, H]) chooseVictims(w *worker, g *taskGroup, needed jobs.Resources, now clock.Millis) (victims []*run, lost int64) {
 	free := w.capacity.Minus(w.used)
 	var runs []*run
@@ -82,12 +87,13 @@
 		switch {
 		case r.stopping || !r.needed():
 			free = free.Plus(reservation(r.step))
-		case !r.step.LongRunning && !r.step.Gang && s.rankPolicy.Rank(r.rec, r.task.Occurrence, now).Class > g.rank.Class:
+		case r.step.LongRunning || r.step.Gang || (s.shares.isExcess(g.rec) && !s.shares.isExcess(r.rec)):
+		case s.rank(r.rec, r.task.Occurrence, now).Class > g.rank.Class:
 			runs = append(runs, r)
 		}
 	}
 	slices.SortFunc(runs, func(x, y *run) int {
-		return cmp.Or(cmp.Compare(x.lostWork(now), y.lostWork(now)), compareTaskIDs(x.task, y.task))
+		return cmp.Or(-compareBool(s.shares.isExcess(x.rec), s.shares.isExcess(y.rec)), cmp.Compare(x.lostWork(now), y.lostWork(now)), compareTaskIDs(x.task, y.task))
 	})
 	for _, r := range runs {
 		if needed.FitsIn(free) {
@@ -111,6 +117,17 @@
 	return victims, lost
 }
 
+// entitledLost returns the work that is lost with those runs that are not excess work,
+// in milli-cores times milliseconds.
+func (s *Scheduler[P, H]) entitledLost(runs []*run, now clock.Millis) (lost int64) {
+	for _, r := range runs {
+		if !s.shares.isExcess(r.rec) {
+			lost += r.lostWork(now)
+		}
+	}
+	return lost
+}
+
 // lostWork returns the work that is lost if the run is stopped, in milli-cores
 // times milliseconds.
 func (r *run) lostWork(now clock.Millis) int64 {
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -35,6 +35,10 @@
 	classLongRunning = iota
 	classOnTime
 	classLate
+	// classExcess and classLateExcess hold the finite work of jobs beyond their
+	// customers' rates that can meet its deadline, and that cannot.
+	classExcess
+	classLateExcess
 )
 
 // lateRankMillis is how long the rank of late work is kept. It can be on time again
@@ -109,7 +113,10 @@
 	workers map[jobs.WorkerID]*worker
 	// groups holds the groups of waiting tasks by rank. A group that has none left,
 	// or whose job has ended, stays until placePool or refreshRanks comes to it.
-	groups      order.List[*taskGroup, groupNeeds]
+	groups order.List[*taskGroup, groupNeeds]
+	// shares orders the groups of finite tasks by the shares of their customers. It
+	// is empty if no customer has a weight.
+	shares      shareOrder
 	groupByStep map[stepKey]*taskGroup
 	// rankEnds orders the groups by the end of their rank's validity. An entry is
 	// skipped if the group has left the pool or got another rank.
@@ -175,6 +182,8 @@
 	// reserved is what each task reserves on its worker.
 	reserved jobs.Resources
 	hosts    groupHosts
+	// flow holds the group in the pool's order by shares; nil if it is not in it.
+	flow *flow
 }
 
 // Before orders groups by class, key, turn and the order of acceptance, then by
@@ -331,9 +340,12 @@
 
 // addGroup adds a group to a pool with its present rank.
 func (s *Scheduler[P, H]) addGroup(p *pool, g *taskGroup, now clock.Millis) {
-	g.rank = s.rankPolicy.Rank(g.rec, g.key.occurrence, now)
+	g.rank = s.rank(g.rec, g.key.occurrence, now)
 	p.groupByStep[g.key] = g
 	p.groups.Insert(g)
+	if s.shares.enabled() && g.rank.Class >= classOnTime {
+		p.shares.add(g, &s.shares, now)
+	}
 	if g.rank.Until > 0 {
 		p.rankEnds.Push(rankEnd{at: g.rank.Until, g: g})
 	}
@@ -342,6 +354,7 @@
 // removeGroup removes a group from the pool.
 func (p *pool) removeGroup(g *taskGroup) {
 	p.groups.Remove(g)
+	p.shares.remove(g)
 	delete(p.groupByStep, g.key)
 }
 
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/heap"
@@ -44,6 +45,7 @@
 	// customersByKey holds the customers of the configuration by the digests of
 	// their keys.
 	customersByKey map[jobs.KeyDigest]jobs.CustomerName
+	shares         shares
 	advice         adviceState
 	// now is the latest time passed to New, Heartbeat or Pass.
 	now clock.Millis
@@ -201,6 +203,8 @@
 	progressedAt clock.Millis
 	stopping     bool
 	stopReason   string
+	// hold is what the run holds for its customer's share.
+	hold hold
 }
 
 // New returns the scheduler of a leader whose term starts at now. state is a
@@ -216,7 +220,9 @@
 		avoided: map[jobs.TaskID][]avoidedWorker{}, failures: map[jobs.ID]*jobFailures{},
 		advice: newAdviceState(), pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
 	}
+	s.shares = newShares(settings.ShareWindowMillis)
 	s.readConfig()
+	s.shares.restore(state)
 	for _, rec := range state.Jobs {
 		s.restoreJob(rec, now)
 	}
@@ -241,7 +247,9 @@
 			s.workers[state.Worker] = w
 			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 		}
-		s.addRun(w, &run{task: id, number: state.Run, rec: rec, step: &rec.Steps[id.Step], assignedAt: now, progressedAt: now})
+		r := &run{task: id, number: state.Run, rec: rec, step: &rec.Steps[id.Step], assignedAt: now, progressedAt: now}
+		s.addRun(w, r)
+		s.holdShare(w, r, now)
 	}
 	s.stopBrokenGangs(rec)
 	s.addPending(rec)
@@ -292,6 +300,7 @@
 	}
 	s.configVersion = c.Version
 	s.customersByKey = c.CustomersByKey()
+	s.shares.configure(c.Customers)
 	s.poolByQueue = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
 	s.configuredPools = make(map[jobs.PoolName]bool, len(c.Pools))
 	for _, p := range c.Pools {
@@ -338,6 +347,7 @@
 		s.noteJob(DecisionCancelled, rec, fmt.Sprintf("submitted %d ms after its cancel", j.AcceptedAt-cancelledAt), false)
 		return
 	}
+	s.shares.accept(rec)
 	s.addPending(rec)
 	s.queueJob(rec, now)
 	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s, configuration version %d, %d steps, deadline in %d ms",
@@ -353,6 +363,7 @@
 	s.forgetAdvice(rec)
 	s.removePending(rec.ID)
 	delete(s.failures, rec.ID)
+	delete(s.shares.excess, rec.ID)
 	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
 	if lateness > 0 && rec.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", lateness)
@@ -432,6 +443,10 @@
 		return
 	}
 	s.apply(jobs.Op{Kind: jobs.OpConfig, Config: &c}, now)
+	weights := s.shares.weights
 	s.readConfig()
 	s.reassignPools(now)
+	if !maps.Equal(weights, s.shares.weights) {
+		s.rankAgain(now)
+	}
 }
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -87,6 +87,8 @@
 	faultsOff bool
 	// maxClockOffset limits the clock offsets of leaders.
 	maxClockOffset clock.Millis
+	// customerOf returns the customer of the job with a number; nil if jobs have none.
+	customerOf func(n int) jobs.CustomerName
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -180,6 +182,9 @@
 	if sim.rand.IntN(6) == 0 {
 		j.OccurrenceCount, j.FirstDue, j.Interval = 2, sim.now+clock.Millis(sim.rand.IntN(2000)), 500
 	}
+	if sim.customerOf != nil {
+		j.Customer = sim.customerOf(sim.submitted)
+	}
 	sim.leader.scheduler.Submit(j, sim.leaderNow())
 	// A submitter resends a request that was not answered.
 	if sim.rand.IntN(3) == 0 {
--- a/core/state/sched/types.go
+++ b/core/state/sched/types.go
@@ -58,6 +58,10 @@
 	// StallMillis plus a quarter of its estimate is how long a task may make no
 	// progress before it is stopped and started elsewhere.
 	StallMillis clock.Millis
+	// ShareWindowMillis is the time over which the customers' shares and rates are
+	// measured: the burst of jobs that a customer may submit is what its rate allows
+	// in this time.
+	ShareWindowMillis clock.Millis
 }
 
 // Defaults returns the default settings.
@@ -66,7 +70,7 @@
 		LeaseMillis: 4 * clock.Second, DriftPermille: 25, MaxReplyDelayMillis: 700, MinRetryMillis: 20, MaxRetryMillis: 250, MaxStartBytes: 512 << 10,
 		TakeoverDelayMillis: 3 * clock.Second, MaintenanceMillis: 2 * clock.Second, QuarantineMillis: 5 * clock.Second, MaxQuarantinedPercent: 25,
 		BacklogTargetMillis: 1500, MoveMillis: 1500, IdleMillis: 2 * clock.Second, ReserveMachines: 2,
-		StallMillis: 1500,
+		StallMillis: 1500, ShareWindowMillis: 5 * clock.Second,
 	}
 }
 
--- a/io/proto/report/job.go
+++ b/io/proto/report/job.go
@@ -22,6 +22,7 @@
 	sched.WaitAdvice:       "the advice service has not approved a worker: check the lines about advice in the leader's log",
 	sched.WaitPerWorker:    "each worker already runs the maximum number of tasks of the step: add machines",
 	sched.WaitCapacity:     "other tasks use the workers' capacity: wait, or add machines",
+	sched.WaitShare:        "tasks of other customers go first, because the job is beyond its customer's rate or its customer has had more of its share: wait, raise the customer's weight, or add machines",
 	sched.WaitGang:         "there is capacity for some tasks of the gang but not for all: wait, or add machines",
 	sched.WaitHeartbeat:    "a worker can get a task at its next heartbeat",
 }
