Keep groups whose rank is the same in place, and measure shares in a full pool

Cause: late work is ranked again every 500 ms, and each time its group was removed from the order and added to it again; with shares, in two orders.

Change: a group whose class, key and sequence stay the same only gets the new end of its rank. BenchmarkFullPoolOfCustomers measures 20 and 2,000 customers with a backlog of 10,000 jobs, without weights and with them.

--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -24,6 +24,11 @@
 	Until clock.Millis
 }
 
+// samePosition reports whether work of both ranks is placed at the same point.
+func (r Rank) samePosition(o Rank) bool {
+	return r.Class == o.Class && r.Key == o.Key && r.Seq == o.Seq
+}
+
 // RankPolicy decides which waiting work is placed first.
 type RankPolicy interface {
 	Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank
@@ -381,6 +386,11 @@
 		if p.groupByStep[e.g.key] != e.g || e.g.rank.Until != e.at {
 			continue
 		}
+		if rank := s.rank(e.g.rec, e.g.key.occurrence, now); e.g.live() && rank.Until > 0 && rank.samePosition(e.g.rank) {
+			e.g.rank.Until = rank.Until
+			p.rankEnds.Push(rankEnd{at: rank.Until, g: e.g})
+			continue
+		}
 		p.removeGroup(e.g)
 		if e.g.live() {
 			s.addGroup(p, e.g, now)
--- /dev/null
+++ b/core/state/sched/share_bench_test.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"camphorridge/core/state/jobs"
+	"camphorridge/core/state/place"
+)
+
+// BenchmarkFullPoolOfCustomers measures the same as BenchmarkFullPool with a backlog of
+// 10,000 jobs of several customers, without weights and with them. The cost must not
+// depend on the number of customers.
+func BenchmarkFullPoolOfCustomers(b *testing.B) {
+	for _, customers := range []int{20, 2000} {
+		for _, weight := range []int{0, 1000} {
+			b.Run(fmt.Sprintf("%d-customers-weight-%d", customers, weight), func(b *testing.B) {
+				const workers, backlog = 130, 10_000
+				s, heartbeats := fullPoolOfCustomers(workers, backlog, customers, weight)
+				now := s.termStart
+				submitted, i := 0, 0
+				for b.Loop() {
+					h := &heartbeats[i%workers]
+					if i++; i%4 == 0 {
+						submitted++
+						s.Submit(customerJob(backlog+submitted, customers), now)
+					}
+					now++
+					h.endFirstRun()
+					h.Seq++
+					h.ReceivedAt = now
+					s.Heartbeat(h.Heartbeat, now)
+					applyStarts(heartbeats, s.Pass(now).Orders)
+				}
+				if contended := s.pool("p").shares.contended; contended != (weight > 0) {
+					b.Fatal("the order by shares applies:", contended)
+				}
+			})
+		}
+	}
+}
+
+// customerJob returns a job of surgeJob of one of several customers.
+func customerJob(n, customers int) jobs.Job {
+	j := surgeJob(n)
+	j.Customer = jobs.CustomerName(fmt.Sprint("c", max(n, -n)%customers))
+	return j
+}
+
+// fullPoolOfCustomers returns what fullPool returns, with jobs of several customers.
+func fullPoolOfCustomers(workers, backlog, customers, weight int) (*testScheduler, []surgeWorker) {
+	state := jobs.New()
+	c := jobs.Config{Version: 1, Pools: []jobs.Pool{{Name: "p"}}, Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 3, Target: 3600}}}
+	for n := range customers {
+		c.Customers = append(c.Customers, jobs.Customer{Name: jobs.CustomerName(fmt.Sprint("c", n)), WeightPermille: weight})
+	}
+	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
+	s := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000)
+	heartbeats := make([]surgeWorker, workers)
+	for n := range backlog + workers {
+		s.Submit(customerJob(-n, customers), 1000)
+	}
+	for i := range heartbeats {
+		heartbeats[i].Heartbeat = Heartbeat{
+			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: "p", Seq: 1, ReceivedAt: 1000,
+			Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 64_000}, Labels: []string{"a", fmt.Sprint("r-", i/8)},
+		}
+		s.Heartbeat(heartbeats[i].Heartbeat, 1000)
+	}
+	applyStarts(heartbeats, s.Pass(1000).Orders)
+	return s, heartbeats
+}
