Count jobs that are cancelled before they arrive in their customer's rate

Cause: a new leader counts all records when it derives which jobs are beyond the rate, but the leader that accepted such a job did not count it.

Change: the job is counted before its cancel is applied. New tests guard against a customer that is idle and saves up, an account that falls behind without limit, a customer that starves after it used spare room, and entitled work that is stopped on one worker while excess work runs on another.

--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -340,14 +340,15 @@
 	cancelledAt, cancelled := s.State.CancelledAt[jobs.CancelKey{Job: j.ID, Customer: j.Customer}]
 	s.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
 	rec := s.State.Jobs[j.ID]
+	s.shares.accept(rec)
 	if cancelled {
 		// Both operations are part of one batch, so that no state has the job
 		// without its cancel.
 		s.apply(cancelOp(jobs.CancelKey{Job: j.ID, Customer: j.Customer}), now)
+		delete(s.shares.excess, j.ID)
 		s.noteJob(DecisionCancelled, rec, fmt.Sprintf("submitted %d ms after its cancel", j.AcceptedAt-cancelledAt), false)
 		return
 	}
-	s.shares.accept(rec)
 	s.addPending(rec)
 	s.queueJob(rec, now)
 	s.noteJob(DecisionAccepted, rec, fmt.Sprintf("queue %s, configuration version %d, %d steps, deadline in %d ms",
--- a/core/state/sched/share_simulation_test.go
+++ b/core/state/sched/share_simulation_test.go
@@ -35,6 +35,8 @@
 	// not 0, a job comes at this interval in place of that.
 	perSecond int
 	every     clock.Millis
+	// from is the time of the first job.
+	from      clock.Millis
 	tasks     int
 	resources jobs.Resources
 	// duration is the mean duration of a task, and target the time for a job beside
@@ -118,6 +120,9 @@
 
 // submit submits the jobs of a customer that are due in this step.
 func (l *shareLoad) submit(c *shareCustomer) {
+	if l.now < c.from {
+		return
+	}
 	stepsPerSecond := int(clock.Second / loadStepMillis)
 	n := c.perSecond / stepsPerSecond
 	if l.rand.IntN(stepsPerSecond) < c.perSecond%stepsPerSecond {
@@ -346,22 +351,55 @@
 }
 
 // TestSmallBacklogGoesOn guards against a small customer that asks for more than its share
-// and gets nothing for a long time.
+// and gets nothing for a long time, also after it has used most of the pool while there
+// was room.
 func TestSmallBacklogGoesOn(t *testing.T) {
-	customers := smallAndLarge(40)
-	limit := smallWaitLimit(customers, loadMilliCoresPerWorker/1000)
+	beside, before := smallAndLarge(40), smallAndLarge(100)
+	before[1].from = 10 * clock.Second
+	for _, c := range []struct {
+		name      string
+		customers []shareCustomer
+		// latest is the number of the small customer's tasks that run at once.
+		latest int
+	}{{"beside the large one", beside, 40}, {"before the large one", before, 100}} {
+		t.Run(c.name, func(t *testing.T) {
+			limit := smallWaitLimit(c.customers, c.latest)
+			playSeeds(t, shareSeeds(), func(seed uint64) error {
+				l := newShareLoad(seed, c.customers...)
+				l.play(sharePlayMillis)
+				if wait := l.maxGap("small"); wait > limit {
+					return fmt.Errorf("the small customer got nothing for %d ms, more than %d ms", wait, limit)
+				}
+				return l.err
+			})
+		})
+	}
+}
+
+// maxGap returns the longest time without a start of a customer that always waits.
+func (l *shareLoad) maxGap(name jobs.CustomerName) clock.Millis {
+	last, longest := clock.Millis(0), clock.Millis(0)
+	for _, s := range l.starts {
+		if s.customer == name {
+			longest, last = max(longest, s.at-last), s.at
+		}
+	}
+	return max(longest, l.now-last)
+}
+
+// TestIdleCustomerSavesNothing guards against a customer that asks for nothing for some
+// time and then keeps the others from their parts.
+func TestIdleCustomerSavesNothing(t *testing.T) {
+	customers := weightedCustomers(10, clock.Hour, func(int) int { return 30 })
+	const window = 3
+	customers[3].from = window * Defaults().ShareWindowMillis
 	playSeeds(t, shareSeeds(), func(seed uint64) error {
 		l := newShareLoad(seed, customers...)
 		l.play(sharePlayMillis)
-		last := clock.Millis(0)
-		for _, s := range append(l.starts, shareStart{customer: "small", at: l.now}) {
-			if s.customer != "small" {
-				continue
-			}
-			if last > 0 && s.at-last > limit {
-				return fmt.Errorf("the small customer got nothing from %d to %d ms", last, s.at)
+		for i := window; i < len(l.held); i++ {
+			if got := l.parts(i)["c4"]; got > 0.4*(1+shareTolerance) {
+				return fmt.Errorf("window %d: customer c4 has a part of %.4f, its weight is 0.4 of all", i, got)
 			}
-			last = s.at
 		}
 		return l.err
 	})
--- a/core/state/sched/share_test.go
+++ b/core/state/sched/share_test.go
@@ -134,7 +134,12 @@
 		names := []jobs.CustomerName{"a", "b", "c", ""}
 		for n := range 300 {
 			f.now += clock.Millis(r.IntN(300))
-			f.submitFor(names[r.IntN(len(names))], fmt.Sprint("j", n), clock.Hour, smallStep)
+			name := names[r.IntN(len(names))]
+			if r.IntN(5) == 0 {
+				// The cancel arrives before the job.
+				f.Cancel(jobs.CancelKey{Job: jobs.ID(fmt.Sprint("j", n)), Customer: name}, f.now)
+			}
+			f.submitFor(name, fmt.Sprint("j", n), clock.Hour, smallStep)
 			if r.IntN(3) == 0 {
 				f.Cancel(jobs.CancelKey{Job: jobs.ID(fmt.Sprint("j", r.IntN(n+1)))}, f.now)
 			}
@@ -188,6 +193,52 @@
 	}
 }
 
+// TestStopsWhereExcessWorkRuns guards against a long-running task for which entitled work
+// is stopped on one worker although only excess work is lost on another one.
+func TestStopsWhereExcessWorkRuns(t *testing.T) {
+	f := newFixture(Defaults())
+	f.configureWeights(map[jobs.CustomerName]int{"a": 200, "b": 1000})
+	finite := jobs.Step{TaskCount: 1, Resources: jobs.Resources{MilliCores: 1000, MemoryMiB: 24_000}, Estimate: 60 * clock.Second}
+	cheap := finite
+	cheap.Checkpoints = true
+	f.submitFor("a", "entitled", clock.Hour, cheap)
+	f.heartbeat("w1", 1, nil)
+	f.Pass(f.now)
+	f.submitFor("a", "excess", clock.Hour, finite)
+	f.heartbeat("w2", 1, nil)
+	f.Pass(f.now)
+	serve := largeStep
+	serve.TaskCount = 1
+	f.submitFor("b", "serve", clock.Hour, serve)
+	for until := f.now + startWithinMillis; f.now < until; {
+		f.now += 200
+		f.heartbeat("w1", 1, []RunStatus{{Task: jobs.TaskID{Job: "entitled"}, Run: 1, Percent: 1}})
+		f.heartbeat("w2", 1, []RunStatus{{Task: jobs.TaskID{Job: "excess"}, Run: 1, Percent: 1}})
+		f.Pass(f.now)
+	}
+	assert.Equal(t, f.stopping("w1"), 0)
+	assert.Equal(t, f.stopping("w2"), 1)
+}
+
+// TestAccountIsLittleBehind guards against a customer whose tasks fit on no worker for
+// long, and that gets everything for as long once they do.
+func TestAccountIsLittleBehind(t *testing.T) {
+	terms := newShares(5 * clock.Second)
+	terms.configure([]jobs.Customer{{Name: "a", WeightPermille: 1000}, {Name: "b", WeightPermille: 3000}})
+	o := shareOrder{contended: true, capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 1000}}
+	step := smallStep
+	for _, name := range []jobs.CustomerName{"a", "b"} {
+		o.add(&taskGroup{rec: &jobs.Record{Job: jobs.Job{Customer: name}}, step: &step, rank: Rank{Class: classOnTime}}, &terms, 1000)
+	}
+	for now := clock.Millis(1000); now < 100_000; now += 100 {
+		h := o.start("b", &step, &terms, now)
+		o.end("b", &step, h, &terms, now+100)
+	}
+	limit := float64(terms.window) / float64(terms.totalWeight)
+	assert.Assert(t, o.virtual > 1.1*limit, "%f", o.virtual)
+	assert.Assert(t, o.virtualTime(o.account("a", &terms, 100_000)) >= o.virtual-limit)
+}
+
 // TestEntitledWorkIsNotStoppedForExcess guards against a task beyond its customer's rate
 // for which entitled work is stopped.
 func TestEntitledWorkIsNotStoppedForExcess(t *testing.T) {
