Wrap comments on shares, and ignore time that goes back in an account

Cause: a heartbeat may be handled with an earlier time than the pass before it; the account of its customer would have lost use.

Change: an account is never settled backwards. Two comments are wrapped.

Result: packages sched, order and report pass with -race -short.

--- a/core/state/sched/preempt.go
+++ b/core/state/sched/preempt.go
@@ -36,9 +36,9 @@
 // preempt stops finite tasks for the long-running tasks of a group that have waited
 // for long and would not start in time otherwise. hosts are all workers that can run
 // a task of the group, and missing is the number of its waiting tasks. Tasks are
-// stopped where the least entitled work is lost, then the least work. preempt returns the hosts in the order of
-// preference: those that can run a task in time, those on which tasks were stopped,
-// and the others.
+// stopped where the least entitled work is lost and, among equals, the least work.
+// preempt returns the hosts in the order of preference: those that can run a task in
+// time, those on which tasks were stopped, and the others.
 func (s *Scheduler[P, H]) preempt(p *pool, g *taskGroup, hosts []host, missing int, now clock.Millis) []host {
 	// The hosts are sorted by readyAt.
 	inTime := slices.IndexFunc(hosts, func(h host) bool { return h.needsPreemption(g, now) })
--- a/core/state/sched/shareorder.go
+++ b/core/state/sched/shareorder.go
@@ -33,8 +33,7 @@
 // with a virtual time for each resource: the part of the pool's resource that its tasks
 // have held, times the time, divided by the customer's weight. A part of it is charged in
 // advance, because tasks that have started are not taken back. The largest virtual time
-// decides. Long-running tasks are not counted; the customers share what
-// these leave.
+// decides. Long-running tasks are not counted; the customers share what these leave.
 //
 // A customer with nothing waiting does not save up: when it waits again, it goes on at the
 // virtual time of the pool. While all work fits, what a customer uses beyond its share
@@ -144,15 +143,15 @@
 // order applies: by what one window makes if all customers use their shares.
 func (o *shareOrder) settle(a *account, terms *shares, now clock.Millis) {
 	limit := float64(terms.window) / float64(terms.totalWeight)
-	parts, ahead := partsOf(a.running, o.capacity), o.ahead(a)
+	parts, ahead, elapsed := partsOf(a.running, o.capacity), o.ahead(a), max(now-a.usedAt, 0)
 	for i := range a.used {
-		a.used[i] += parts[i] * float64(now-a.usedAt) * (1000 - advancePermille) / 1000 / a.weight
+		a.used[i] += parts[i] * float64(elapsed) * (1000 - advancePermille) / 1000 / a.weight
 		a.used[i] = max(a.used[i], o.virtual-limit-ahead[i])
 		if !o.contended {
 			a.used[i] = min(a.used[i], o.virtual+limit-ahead[i])
 		}
 	}
-	a.usedAt = now
+	a.usedAt += elapsed
 }
 
 // add adds a group that is in no flow.
