--- a/core/state/sched/blocked.go
+++ b/core/state/sched/blocked.go
@@ -53,6 +53,7 @@
 // blocked groups of its customer.
 func (s *Scheduler[P, H]) block(p *pool, g *taskGroup, now clock.Millis) {
 	p.groups.Remove(g)
+	p.shares.remove(g)
 	g.hosts = groupHosts{}
 	s.insertBlocked(p, g, now)
 }
@@ -220,7 +221,7 @@
 		}
 		// The ranks of blocked groups are not updated at their end.
 		c.blocked[in].Remove(blockedGroup{first})
-		first.rank = s.rankPolicy.Rank(first.rec, first.key.occurrence, now)
+		first.rank = s.rank(first.rec, first.key.occurrence, now)
 		c.blocked[in].Insert(blockedGroup{first})
 	}
 }
--- a/core/state/sched/load.go
+++ b/core/state/sched/load.go
@@ -207,7 +207,7 @@
 func (s *Scheduler[P, H]) waitingMilliCoreMillis(p *pool) clock.Millis {
 	milliCoreMillis := clock.Millis(0)
 	for g, tasks := range s.startableGroups(p) {
-		if g.step.BestEffort || g.rank.Class == classLate {
+		if g.step.BestEffort || g.rank.isLate() {
 			continue
 		}
 		duration := g.step.Estimate
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -25,6 +25,11 @@
 	Until clock.Millis
 }
 
+// samePosition reports whether work of both ranks is placed at the same point.
+func (r Rank) samePosition(o Rank) bool {
+	return r.Class == o.Class && r.Key == o.Key && r.Seq == o.Seq
+}
+
 // RankPolicy decides which waiting work is placed first.
 type RankPolicy interface {
 	Rank(rec *jobs.Record, occurrence int, now clock.Millis) Rank
@@ -36,6 +41,10 @@
 	classLongRunning = iota
 	classOnTime
 	classLate
+	// classExcess and classLateExcess hold the finite work of jobs beyond their
+	// customers' rates that can meet its deadline, and that cannot.
+	classExcess
+	classLateExcess
 )
 
 // lateRankMillis is how long the rank of late work is kept. It can be on time again
@@ -113,7 +122,10 @@
 	// groups of a customer. A group that has none left, whose job has ended or that
 	// waits for its quota stays until placePool or refreshRanks comes to it.
 	// groupByStep holds the blocked groups too.
-	groups      order.List[*taskGroup, groupNeeds]
+	groups order.List[*taskGroup, groupNeeds]
+	// shares orders the groups of finite tasks by the shares of their customers. It
+	// is empty if no customer has a weight.
+	shares      shareOrder
 	groupByStep map[stepKey]*taskGroup
 	// rankEnds orders the groups by the end of their rank's validity. An entry is
 	// skipped if the group has left the pool or got another rank.
@@ -185,6 +197,8 @@
 	// the ranked list of its pool.
 	blocked bool
 	hosts   groupHosts
+	// flow holds the group in the pool's order by shares; nil if it is not in it.
+	flow *flow
 }
 
 // newGroup returns a group without tasks.
@@ -350,13 +364,16 @@
 // addGroup adds a group to a pool with its present rank, or to the blocked groups of its
 // customer.
 func (s *Scheduler[P, H]) addGroup(p *pool, g *taskGroup, now clock.Millis) {
-	g.rank = s.rankPolicy.Rank(g.rec, g.key.occurrence, now)
+	g.rank = s.rank(g.rec, g.key.occurrence, now)
 	p.groupByStep[g.key] = g
 	if !g.withinQuota() {
 		s.insertBlocked(p, g, now)
 		return
 	}
 	p.groups.Insert(g)
+	if s.shares.enabled() && g.rank.Class >= classOnTime {
+		p.shares.add(g, &s.shares, now)
+	}
 	if g.rank.Until > 0 && g.rank.Until != g.rankEndAt {
 		g.rankEndAt = g.rank.Until
 		p.rankEnds.Push(rankEnd{at: g.rank.Until, g: g})
@@ -369,6 +386,7 @@
 		p.removeBlocked(g)
 	} else {
 		p.groups.Remove(g)
+		p.shares.remove(g)
 	}
 	delete(p.groupByStep, g.key)
 }
@@ -406,6 +424,11 @@
 		if e.g.blocked || e.g.rank.Until != e.at {
 			continue
 		}
+		if rank := s.rank(e.g.rec, e.g.key.occurrence, now); e.g.live() && rank.Until > 0 && rank.samePosition(e.g.rank) {
+			e.g.rank.Until, e.g.rankEndAt = rank.Until, rank.Until
+			p.rankEnds.Push(rankEnd{at: rank.Until, g: e.g})
+			continue
+		}
 		p.removeGroup(e.g)
 		if e.g.live() {
 			s.addGroup(p, e.g, now)
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/heap"
@@ -57,6 +58,7 @@
 	quotasNotedAt clock.Millis
 	// placements counts the rounds of placement; the pools take turns by it.
 	placements int
+	shares     shares
 	advice     adviceState
 	// now is the latest time passed to New, Heartbeat or Pass.
 	now clock.Millis
@@ -217,6 +219,8 @@
 	progressedAt clock.Millis
 	stopping     bool
 	stopReason   string
+	// hold is what the run holds for its customer's share.
+	hold hold
 }
 
 // unassignedRun is a run that a worker lists although it is not assigned to it.
@@ -244,9 +248,11 @@
 		customers: map[jobs.CustomerName]*customer{}, unblocking: map[*customer]bool{}, advice: newAdviceState(),
 		pending: map[jobs.ID]*jobs.Record{}, pendingByQueue: map[jobs.QueueName]int{},
 	}
+	s.shares = newShares(settings.ShareWindowMillis)
 	s.readConfig()
 	s.takeover = newTakeover(state, max(settings.TakeoverDelayMillis, 2*settings.MaintenanceMillis))
 	s.restoreMoves(now)
+	s.shares.restore(state)
 	for _, rec := range state.Jobs {
 		s.restoreJob(rec, now)
 	}
@@ -276,7 +282,9 @@
 			s.workers[state.Worker] = w
 			s.leaseEnds.Push(leaseEnd{at: w.leaseUntil, w: w})
 		}
-		s.addRun(w, &run{task: id, number: state.Run, rec: rec, step: &rec.Steps[id.Step], assignedAt: now, progressedAt: now})
+		r := &run{task: id, number: state.Run, rec: rec, step: &rec.Steps[id.Step], assignedAt: now, progressedAt: now}
+		s.addRun(w, r)
+		s.holdShare(w, r, now)
 	}
 	s.stopBrokenGangs(rec)
 	s.addPending(rec)
@@ -331,6 +339,7 @@
 	s.configVersion = c.Version
 	s.customersByKey = c.CustomersByKey()
 	s.readQuotas()
+	s.shares.configure(c.Customers)
 	s.poolByQueue = make(map[jobs.QueueName]jobs.PoolName, len(c.Queues))
 	s.configuredPools = make(map[jobs.PoolName]bool, len(c.Pools))
 	for _, p := range c.Pools {
@@ -370,10 +379,12 @@
 	cancelledAt, cancelled := s.State.CancelledAt[jobs.CancelKey{Job: j.ID, Customer: j.Customer}]
 	s.apply(jobs.Op{Kind: jobs.OpSubmit, Task: jobs.TaskID{Job: j.ID}, Job: &j}, now)
 	rec := s.State.Jobs[j.ID]
+	s.shares.accept(rec)
 	if cancelled {
 		// Both operations are part of one batch, so that no state has the job
 		// without its cancel.
 		s.apply(cancelOp(jobs.CancelKey{Job: j.ID, Customer: j.Customer}), now)
+		delete(s.shares.excess, j.ID)
 		s.noteJob(DecisionCancelled, rec, fmt.Sprintf("submitted %d ms after its cancel", j.AcceptedAt-cancelledAt), false)
 		return
 	}
@@ -397,6 +408,7 @@
 	s.dropBlocked(rec)
 	s.removePending(rec.ID)
 	delete(s.failures, rec.ID)
+	delete(s.shares.excess, rec.ID)
 	reason := fmt.Sprintf("after %d ms", now-rec.AcceptedAt)
 	if lateness > 0 && rec.Status == jobs.StatusCompleted {
 		reason += fmt.Sprintf(", %d ms late", lateness)
@@ -477,6 +489,10 @@
 		return
 	}
 	s.apply(jobs.Op{Kind: jobs.OpConfig, Config: &c}, now)
+	weights := s.shares.weights
 	s.readConfig()
 	s.reassignPools(now)
+	if !maps.Equal(weights, s.shares.weights) {
+		s.rankAgain(now)
+	}
 }
--- a/core/state/sched/simulation_test.go
+++ b/core/state/sched/simulation_test.go
@@ -95,6 +95,9 @@
 	// workers after a start; nil for no check.
 	checkPlan    func(s *testScheduler, p Plan)
 	checkRunning func(started jobs.TaskID)
+	// customerOf returns the customer of the job with a number; nil if jobs have none
+	// or that of customers.
+	customerOf func(n int) jobs.CustomerName
 }
 
 // pickCustomer returns the customer of the next job.
@@ -197,6 +200,9 @@
 		j.OccurrenceCount, j.FirstDue, j.Interval = 2, sim.now+clock.Millis(sim.rand.IntN(2000)), 500
 	}
 	j.Customer = sim.pickCustomer()
+	if sim.customerOf != nil {
+		j.Customer = sim.customerOf(sim.submitted)
+	}
 	sim.leader.scheduler.Submit(j, sim.leaderNow())
 	// A submitter resends a request that was not answered.
 	if sim.rand.IntN(3) == 0 {
