Limit what clients can make a process hold

Cause: a process read, decoded and kept as many bodies, and accepted as many connections, as clients sent, until it ran out of memory or descriptors. Change: package intake is one gate for all listeners of a process. It reserves bytes of a body before they are allocated, with a part for small bodies, and memory for decoding; it limits the time, the size and the chunks of a body, the connections of clients and of members, and the time of a response.

--- a/core/state/clock/clock.go
+++ b/core/state/clock/clock.go
@@ -135,3 +135,7 @@
 	f.timers = append(f.timers, timer{due: f.now + d, ch: ch})
 	return ch
 }
+
+// DeadlineAfter returns the time that is d from now, as a deadline for the connections
+// of the standard library, which know only the machine's clock.
+func DeadlineAfter(d Millis) time.Time { return time.Now().Add(d.Duration()) }
--- a/io/proto/conf/conf.go
+++ b/io/proto/conf/conf.go
@@ -46,6 +46,21 @@
 	DrainMillis clock.Millis
 }
 
+// Intake holds the limits of what clients can make a process hold. 0 stands for the
+// limit of the machine, and in a duration for the default.
+type Intake struct {
+	// MemoryMiB is the memory that the process may use, and Descriptors the number of
+	// descriptors that it may have open.
+	MemoryMiB   int
+	Descriptors int
+	// ProgressMillis is the longest time without a byte of a body. BodyMillis is the
+	// longest time of a whole body, without the time that its bytes take at 1 Mbit/s.
+	// WriteMillis is the longest time in which a client takes no part of a response.
+	ProgressMillis clock.Millis
+	BodyMillis     clock.Millis
+	WriteMillis    clock.Millis
+}
+
 // Lending holds the settings for lending slots between entry processes.
 type Lending struct {
 	// LeaseMillis is the lease duration of lent slots. 0 turns lending off; any other
@@ -118,6 +133,7 @@
 	// It contains this process.
 	Entries []model.Member
 	Limits  Limits
+	Intake  Intake
 	Lending Lending
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
@@ -147,6 +163,7 @@
 	// zone without one, no instance is rebooted.
 	Platforms []Platform
 	Limits    ControlLimits
+	Intake    Intake
 	Consensus Consensus
 	// RepairAfterMillis is how long to wait for a lost instance to return before
 	// another instance replaces it.
--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -27,6 +27,7 @@
 		listenKeys(func(e *Entry) *Listen { return &e.Listen }),
 		memberKeys(func(e *Entry) *[]model.Member { return &e.Controls }, func(e *Entry) *[]model.Member { return &e.Entries }),
 		limitKeys(),
+		intakeKeys(func(e *Entry) *Intake { return &e.Intake }),
 		[]Key[Entry]{
 			intKey("lending", "lease-ms", "ms", "2000", 0, clock.Minute, "lease duration of slots that one entry process lends to another; 0 turns lending off, otherwise at least 200; the same in all processes; lower it, or turn lending off, in a process only while none of its slots are lent", func(e *Entry) *clock.Millis { return &e.Lending.LeaseMillis }),
 			intKey("lending", "reserve-percent", "%", "25", 0, 100, "share of this process's slots of each upstream that is never lent, rounded up", func(e *Entry) *int { return &e.Lending.ReservePercent }),
@@ -53,6 +54,7 @@
 			intKey("consensus", "snapshot-every", "entries", "10000", 10, 10_000_000, "number of log entries from one snapshot to the next", func(c *Control) *int { return &c.Consensus.SnapshotEvery }),
 			intKey("consensus", "segment-bytes", "bytes", "8388608", 4*kib, 1<<30, "size at which a log segment is closed", func(c *Control) *int64 { return &c.Consensus.SegmentBytes }),
 		},
+		intakeKeys(func(c *Control) *Intake { return &c.Intake }),
 		[]Key[Control]{platformKey()},
 		[]Key[Control]{
 			intKey("capacity", "repair-after-ms", "ms", "30000", 0, clock.Day, "how long to wait for a lost instance to return before another instance replaces it", func(c *Control) *clock.Millis { return &c.RepairAfterMillis }),
@@ -130,6 +132,18 @@
 	}
 }
 
+// intakeKeys returns the keys of the limits on what clients can make a process hold,
+// which both roles have.
+func intakeKeys[T any](intake func(*T) *Intake) []Key[T] {
+	return []Key[T]{
+		intKey("intake", "memory-mib", "MiB", "0", 0, 1<<24, "memory that the process may use; an eighth of it is for bodies of requests that are not yet handled, another eighth for those from other processes of the system, a sixteenth for bodies of at most 64 KiB, and about a third for decoding; 0 for the memory of the machine", func(x *T) *int { return &intake(x).MemoryMiB }),
+		intKey("intake", "max-descriptors", "descriptors", "0", 0, 1<<20, "descriptors that the process may have open, from which the numbers of connections are derived; 0 for the limit of the operating system", func(x *T) *int { return &intake(x).Descriptors }),
+		intKey("intake", "body-progress-ms", "ms", "5000", 10, 10*clock.Minute, "longest time without a byte of a body that is being read; then the request is refused with HTTP status 408", func(x *T) *clock.Millis { return &intake(x).ProgressMillis }),
+		intKey("intake", "body-total-ms", "ms", "10000", 10, 10*clock.Minute, "longest time of a whole body, in addition to the time that its bytes take at 1 Mbit/s; not for bodies that are passed on to upstreams", func(x *T) *clock.Millis { return &intake(x).BodyMillis }),
+		intKey("intake", "write-progress-ms", "ms", "10000", 10, 10*clock.Minute, "longest time in which a client may take no part of its response; then its connection is closed", func(x *T) *clock.Millis { return &intake(x).WriteMillis }),
+	}
+}
+
 // leaseKey returns the key of the lease duration of announcements, which both roles
 // have.
 func leaseKey[T any](field func(*T) *clock.Millis) Key[T] {
--- a/io/trans/admin/admin.go
+++ b/io/trans/admin/admin.go
@@ -17,6 +17,7 @@
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
 	"camphorridge/io/proto/report"
+	"camphorridge/io/trans/intake"
 )
 
 // Limits of the endpoint.
@@ -48,6 +49,8 @@
 	StopMillis clock.Millis
 	// ErrorLog logs the errors of connections. If it is nil, they are discarded.
 	ErrorLog *log.Logger
+	// Gate limits the connections and requests. If it is nil, they are not limited.
+	Gate *intake.Gate
 }
 
 // Server serves the endpoint of one process.
@@ -69,11 +72,15 @@
 	if cfg.ErrorLog == nil {
 		cfg.ErrorLog = log.New(io.Discard, "", 0)
 	}
+	h := (&Server{cfg: cfg}).Handler()
+	if cfg.Gate != nil {
+		l, h = cfg.Gate.Listener(l, intake.Clients), cfg.Gate.Handler(h, intake.Options{})
+	}
 	s := &Server{cfg: cfg, listener: l, done: make(chan struct{})}
 	s.http = &http.Server{
-		Handler: s.Handler(), ErrorLog: cfg.ErrorLog,
+		Handler: h, ErrorLog: cfg.ErrorLog,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: intake.ConnState,
 	}
 	return s, nil
 }
--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"camphorridge/io/trans/intake"
 )
 
 // expiredDeadline is a time in the past; setting it as a deadline interrupts a
@@ -48,7 +50,7 @@
 	case err != nil:
 		// This case also reports a body that is too slow: at the time limit the timer
 		// makes the blocked read fail.
-		return p, newError("body", KindBody, http.StatusBadRequest, "the body could not be read: %w", err)
+		return p, newError("body", KindBody, bodyStatus(err), "the body could not be read: %w", err)
 	case !inTime:
 		// The buffer became full just when the time limit passed. The connection has
 		// an expired read deadline, so the rest could not be read.
@@ -61,6 +63,15 @@
 	return p, nil
 }
 
+// bodyStatus returns the status of a response to a request whose body could not be read.
+func bodyStatus(err error) int {
+	var e *intake.Error
+	if errors.As(err, &e) && (e.Kind == intake.KindBudget || e.Kind == intake.KindTooLarge) {
+		return e.Status()
+	}
+	return http.StatusBadRequest
+}
+
 // attemptBody is the request body of one attempt. net/http may read it after the
 // attempt has returned; detach prevents that, so that the buffer can be reused.
 type attemptBody struct {
--- a/io/trans/front/front.go
+++ b/io/trans/front/front.go
@@ -109,7 +109,11 @@
 		buf := f.getBuffer(r.ContentLength)
 		defer f.putBuffer(buf)
 		if x.body, err = readPayload(&f.cfg, w, r, *buf); err != nil {
-			f.replyRefused(&x, err.Status, err.Err.Error(), 0)
+			retryDelay := clock.Millis(0)
+			if err.Status == http.StatusServiceUnavailable {
+				retryDelay = clock.Second
+			}
+			f.replyRefused(&x, err.Status, err.Err.Error(), retryDelay)
 			return
 		}
 	} else {
--- a/io/trans/front/helpers_test.go
+++ b/io/trans/front/helpers_test.go
@@ -15,6 +15,7 @@
 	"camphorridge/core/state/model"
 	"camphorridge/core/state/ring"
 	"camphorridge/core/state/route"
+	"camphorridge/io/trans/intake"
 	"camphorridge/io/trans/uplink"
 
 	"gotest.tools/v3/assert"
@@ -103,8 +104,9 @@
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	srv := NewServer(te.handler, te.handler.cfg.MaxHeaderBytes)
-	go func() { _ = srv.Serve(l) }()
+	gate := intake.New(intake.Defaults(0, 0), clock.Real(), nil)
+	srv := NewServer(gate, te.handler, te.handler.cfg.MaxHeaderBytes, BodyLimits(te.handler.cfg))
+	go func() { _ = srv.Serve(gate.Listener(l, intake.Clients)) }()
 	// Announcements expire unless they are repeated.
 	renew := time.NewTicker(time.Second)
 	stop := make(chan struct{})
--- a/io/trans/front/outcome_test.go
+++ b/io/trans/front/outcome_test.go
@@ -16,6 +16,7 @@
 	"camphorridge/core/coord/entry"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
+	"camphorridge/io/trans/intake"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -312,7 +313,7 @@
 	for _, finish := range []bool{true, false} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		s := NewServer(h, 1<<10)
+		s := NewServer(intake.New(intake.Defaults(0, 0), clock.Real(), nil), h, 1<<10, intake.Options{})
 		served, answered := make(chan error, 1), make(chan error, 1)
 		go func() { served <- s.Serve(l) }()
 		go func() {
--- a/io/trans/front/server.go
+++ b/io/trans/front/server.go
@@ -8,16 +8,11 @@
 	"time"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/io/trans/intake"
 )
 
 // The timeouts of the connections from callers.
 const (
-	// readHeaderTimeout bounds the reading of a request header.
-	readHeaderTimeout = 5 * time.Second
-	// readTimeout bounds the reading of a whole request. It exceeds the
-	// default of Settings.MaxTimeout, so that the request timeout applies
-	// first.
-	readTimeout = 75 * time.Second
 	// writeTimeout bounds a request from its header to the end of its
 	// response.
 	writeTimeout = 90 * time.Second
@@ -31,19 +26,22 @@
 	http *http.Server
 }
 
+// BodyLimits returns the limits of the bodies of requests for a Handler.
+func BodyLimits(s Settings) intake.Options {
+	return intake.Options{MaxBodyBytes: s.MaxBodyBytes, HeldBytes: int64(s.BufferBytes), Streamed: true}
+}
+
 // NewServer returns a server for a handler that refuses headers larger than
-// maxHeader bytes. net/http itself refuses headers from about twice that size.
-func NewServer(h http.Handler, maxHeader int) *Server {
-	return &Server{http: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    2 * maxHeader,
-		// The handler answers OPTIONS * itself, with an outcome header.
-		DisableGeneralOptionsHandler: true,
-	}}
+// maxHeader bytes. net/http itself refuses headers from about twice that size. The
+// gate and bodies limit the bodies of requests. Serve must be given a listener of the
+// gate.
+func NewServer(gate *intake.Gate, h http.Handler, maxHeader int, bodies intake.Options) *Server {
+	bodies.Class, bodies.IdleTimeout, bodies.MaxHeaderBytes = intake.Clients, idleTimeout, 2*maxHeader
+	s := gate.Server(h, bodies)
+	s.WriteTimeout = writeTimeout
+	// The handler answers OPTIONS * itself, with an outcome header.
+	s.DisableGeneralOptionsHandler = true
+	return &Server{http: s}
 }
 
 // Serve accepts connections until Shutdown and then returns nil. Any other
--- a/io/trans/peers/announce.go
+++ b/io/trans/peers/announce.go
@@ -10,8 +10,8 @@
 	"camphorridge/core/state/model"
 )
 
-// maxAnnounceBytes is the maximum size of the body of an announcement.
-const maxAnnounceBytes = 8 << 10
+// MaxAnnounceBytes is the maximum size of the body of an announcement.
+const MaxAnnounceBytes = 8 << 10
 
 // The upper limits of slots, connections and the incarnation in an announcement.
 const (
@@ -49,7 +49,7 @@
 func AnnounceHandler(announce AnnounceFunc) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxAnnounceBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, MaxAnnounceBytes)
 		if err := r.ParseForm(); err != nil {
 			refuseAnnouncement(w, http.StatusBadRequest, err)
 			return
--- a/io/trans/peers/announce_test.go
+++ b/io/trans/peers/announce_test.go
@@ -66,7 +66,7 @@
 	reason, err := url.ParseQuery(strings.TrimSpace(body))
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(reason.Get("reason"), `slots is "many": want a number from 1 to 1024`), body)
-	status, _ = post(validForm + "&x=" + strings.Repeat("y", maxAnnounceBytes))
+	status, _ = post(validForm + "&x=" + strings.Repeat("y", MaxAnnounceBytes))
 	assert.Equal(t, status, http.StatusBadRequest)
 	assert.Equal(t, accepted, 1)
 }
--- a/io/trans/peers/consensus.go
+++ b/io/trans/peers/consensus.go
@@ -190,10 +190,10 @@
 	return w, nil
 }
 
-// maxPeerRequestBytes bounds the body of a request from another process. A request with
+// MaxRequestBytes bounds the body of a request from another process. A request with
 // log entries holds at most maxStepBytes and one further message, whose largest entry is a
 // change of model.MaxChangeBytes; the rest is for the messages' other fields.
-const maxPeerRequestBytes = model.MaxChangeBytes + maxStepBytes + 3584<<10
+const MaxRequestBytes = model.MaxChangeBytes + maxStepBytes + 3584<<10
 
 // Mux returns a handler for the services of a process. It omits services that are
 // nil; events is always served.
@@ -212,5 +212,5 @@
 	if work != nil {
 		mux.Handle(wirepb.WorkPathPrefix, wirepb.NewWorkServer(work))
 	}
-	return http.MaxBytesHandler(mux, int64(maxPeerRequestBytes))
+	return http.MaxBytesHandler(mux, int64(MaxRequestBytes))
 }
--- a/io/trans/peers/traffic.go
+++ b/io/trans/peers/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 )
@@ -58,6 +59,14 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side of the connection.
+func (c *countingConn) CloseWrite() error {
+	if x, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return x.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.t.sent.Add(int64(n))
--- a/io/trans/roles/control.go
+++ b/io/trans/roles/control.go
@@ -21,6 +21,7 @@
 	"camphorridge/io/proto/codec"
 	"camphorridge/io/proto/conf"
 	"camphorridge/io/trans/admin"
+	"camphorridge/io/trans/intake"
 	"camphorridge/io/trans/logs"
 	"camphorridge/io/trans/peers"
 )
@@ -66,6 +67,7 @@
 	replicationLog *replicationLog
 	// jobs is nil in a process that schedules no jobs.
 	jobs *JobsRunner
+	gate *intake.Gate
 	// commitMillis records the duration of each commit of the job runner, in ms.
 	commitMillis metrics.Histogram
 	// droppedLogLines returns the number of dropped log lines.
@@ -127,6 +129,7 @@
 		return nil, &Error{Op: "open the data folder", Kind: KindStore, Err: err}
 	}
 	c := &Control{cfg: cfg, clock: clk, log: lg, disk: d, commitMillis: admin.NewHistogram(), droppedLogLines: func() int64 { return 0 }}
+	c.gate = newGate(cfg.Intake, false, clk, lg)
 	c.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	c.client = peers.NewClient(cfg.Name, c.recorder)
 	c.senders = peers.NewSenders(c.client, cfg.Controls)
@@ -208,7 +211,7 @@
 		addComponent(g, c.mover)
 	}
 	addComponent(g, c.membership)
-	addServer(g, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), events), peerStopTimeout)
+	addServer(g, c.gate, c.client.Traffic.Listener(l), peers.Mux(server, consensusServer, nil, c.workServer(server), events), memberLimits, peerStopTimeout)
 	addComponent(g, newGroupRunner(c))
 	addComponent(g, adm)
 	addComponent(g, c.recorder)
@@ -219,7 +222,7 @@
 	return admin.Config{
 		Address:        c.cfg.Listen.Admin,
 		Labels:         []admin.Label{{Name: "process", Value: string(c.cfg.Name)}, {Name: "zone", Value: string(c.cfg.Zone)}},
-		NotReadyReason: c.notReadyReason, Events: c.recorder.Page, StopMillis: peerStopTimeout, Registry: c.newMetrics(),
+		NotReadyReason: c.notReadyReason, Events: c.recorder.Page, StopMillis: peerStopTimeout, Registry: c.newMetrics(), Gate: c.gate,
 	}
 }
 
@@ -240,6 +243,7 @@
 	})
 	registerCounters(r, processCounters(c.client.Traffic))
 	registerCounters(r, []counter{{"log-lines-dropped", c.droppedLogLines}})
+	registerGate(r, c.gate)
 	c.addJobMetrics(r)
 	_ = admin.RegisterGauge(r, "term", func() int64 { return int64(c.member.Status().Term) })
 	_ = admin.RegisterGauge(r, "commit-index", func() int64 { return int64(c.member.queryStatus(context.Background()).Commit) })
--- a/io/trans/roles/entry.go
+++ b/io/trans/roles/entry.go
@@ -26,6 +26,7 @@
 	"camphorridge/io/proto/conf"
 	"camphorridge/io/trans/admin"
 	"camphorridge/io/trans/front"
+	"camphorridge/io/trans/intake"
 	"camphorridge/io/trans/logs"
 	"camphorridge/io/trans/peers"
 	"camphorridge/io/trans/uplink"
@@ -64,6 +65,7 @@
 	timed     *timedDispatcher
 	front     *front.Handler[*timedDispatcher, *claim.Claimer[*peers.LeaderClient]]
 	events    *ring.Ring[model.Event]
+	gate      *intake.Gate
 	leaving   atomic.Bool
 }
 
@@ -93,6 +95,7 @@
 func newEntry(cfg conf.Entry, lg *log.Logger) *Entry {
 	clk := clock.Real()
 	e := &Entry{cfg: cfg, clock: clk, log: lg, events: ring.New[model.Event](eventRingCapacity)}
+	e.gate = newGate(cfg.Intake, true, clk, lg)
 	e.recorder = record.New(cfg.Name, cfg.EventCapacity, clk)
 	e.client = peers.NewClient(cfg.Name, e.recorder)
 	leader := peers.NewLeaderClient(e.client, cfg.Controls, clk)
@@ -205,7 +208,8 @@
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	e.addCallers(g, callers)
-	addServer(g, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce), peerStopTimeout)
+	addServer(g, e.gate, e.client.Traffic.Listener(upstreams), peers.AnnounceHandler(e.announce),
+		intake.Options{Class: intake.Clients, MaxBodyBytes: peers.MaxAnnounceBytes + 1, Copies: 2}, peerStopTimeout)
 	addComponent(g, e.poller)
 	addComponent(g, e.reporter)
 	addComponent(g, e.forwarder)
@@ -214,7 +218,7 @@
 	addComponent(g, e.link)
 	addComponent(g, e.dispatch)
 	addComponent(g, newEventForwarder(e.events, e.record))
-	addServer(g, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbourServer(), nil, e.eventsServer()), peerStopTimeout)
+	addServer(g, e.gate, e.client.Traffic.Listener(peerListener), peers.Mux(nil, nil, e.neighbourServer(), nil, e.eventsServer()), memberLimits, peerStopTimeout)
 	addComponent(g, adm)
 	addComponent(g, e.recorder)
 	return nil
@@ -225,8 +229,8 @@
 const peerStopTimeout = 2 * clock.Second
 
 func (e *Entry) addCallers(g *run.Group, l net.Listener) {
-	s := front.NewServer(e.closeWhenLeaving(e.front), e.cfg.Limits.MaxHeaderBytes)
-	g.Add(func() error { return s.Serve(l) }, func(error) {
+	s := front.NewServer(e.gate, e.closeWhenLeaving(e.front), e.cfg.Limits.MaxHeaderBytes, front.BodyLimits(frontSettings(e.cfg)))
+	g.Add(func() error { return s.Serve(e.gate.Listener(l, intake.Clients)) }, func(error) {
 		e.record(model.Event{Kind: model.EventStop})
 		e.leaving.Store(true)
 		<-e.clock.After(unreadyTime)
@@ -282,7 +286,7 @@
 	return admin.Config{
 		Address:        e.cfg.Listen.Admin,
 		Labels:         []admin.Label{{Name: "process", Value: string(e.cfg.Name)}, {Name: "zone", Value: string(e.cfg.Zone)}},
-		NotReadyReason: e.notReadyReason, Events: e.recorder.Page, StopMillis: peerStopTimeout, Registry: e.newMetrics(),
+		NotReadyReason: e.notReadyReason, Events: e.recorder.Page, StopMillis: peerStopTimeout, Registry: e.newMetrics(), Gate: e.gate,
 	}
 }
 
@@ -325,6 +329,7 @@
 		{"events-dropped", func() int64 { return e.recorder.Counts().Dropped }},
 	})
 	registerCounters(r, processCounters(e.client.Traffic))
+	registerGate(r, e.gate)
 	_ = admin.RegisterGauge(r, "slots-lent", func() int64 { return e.dispatch.Status().Loans.LentSlots })
 	_ = admin.RegisterGauge(r, "slots-borrowed", func() int64 { return e.dispatch.Status().Loans.HeldSlots })
 	_ = r.Register("request-wait-ms", e.timed.waitMillis)
--- a/io/trans/roles/jobs.go
+++ b/io/trans/roles/jobs.go
@@ -14,6 +14,7 @@
 	"camphorridge/core/state/place"
 	"camphorridge/core/state/sched"
 	"camphorridge/io/proto/wirepb"
+	"camphorridge/io/trans/intake"
 	"camphorridge/io/trans/peers"
 )
 
@@ -31,8 +32,10 @@
 	// the process schedules no jobs.
 	Address string
 	// Handler returns the HTTP handler for Address.
-	Handler  func(JobsService) http.Handler
-	Settings sched.Settings
+	Handler func(JobsService) http.Handler
+	// MaxBodyBytes is the largest body of any request for Handler.
+	MaxBodyBytes int64
+	Settings     sched.Settings
 	// Machines acts on the machines of the platform. If it is nil, every action is
 	// refused.
 	Machines runner.Machines
@@ -48,6 +51,7 @@
 	// this process is the leader.
 	Leader func() (name model.Process, isSelf bool)
 	Log    *log.Logger
+	Gate   *intake.Gate
 }
 
 // noMachines is used on a platform that has no interface for machines. It refuses
@@ -77,8 +81,8 @@
 		ObserveCommit: func(d clock.Millis) { c.commitMillis.Update(int64(d)) },
 	})
 	c.member.onStatus = c.jobs.Wake
-	service := JobsService{Runner: c.jobs, Leader: c.knownLeader, Log: c.log}
-	addServer(g, l, o.Handler(service), peerStopTimeout)
+	service := JobsService{Runner: c.jobs, Leader: c.knownLeader, Log: c.log, Gate: c.gate}
+	addServer(g, c.gate, l, o.Handler(service), intake.Options{Class: intake.Clients, MaxBodyBytes: o.MaxBodyBytes}, peerStopTimeout)
 	addComponent(g, c.jobs)
 	addComponent(g, newReloader(o.Reload, c.cfg.Controls, c.membership.Configure, c.clock, c.log))
 	return nil
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -13,8 +13,13 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
 
 	"camphorridge/core/state/clock"
+	"camphorridge/io/proto/conf"
+	"camphorridge/io/trans/admin"
+	"camphorridge/io/trans/intake"
+	"camphorridge/io/trans/peers"
 )
 
 // Kind classifies the errors of the package.
@@ -89,18 +94,20 @@
 	return l, nil
 }
 
-// Timeouts of the servers that addServer adds.
+// Limits of the servers that addServer adds.
 const (
-	readHeaderTimeout = 5 * time.Second
-	peerIdleTimeout   = 60 * time.Second
+	peerIdleTimeout = 60 * time.Second
+	maxHeaderBytes  = 16 << 10
 )
 
-// addServer adds an HTTP server to the group. When it is stopped, it waits for open
-// requests, for stopTimeout at most, and then closes their connections.
-func addServer(g *run.Group, l net.Listener, h http.Handler, stopTimeout clock.Millis) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: peerIdleTimeout}
+// addServer adds an HTTP server to the group, with the limits of the gate. When it is
+// stopped, it waits for open requests, for stopTimeout at most, and then closes their
+// connections.
+func addServer(g *run.Group, gate *intake.Gate, l net.Listener, h http.Handler, o intake.Options, stopTimeout clock.Millis) {
+	o.MaxHeaderBytes, o.IdleTimeout = maxHeaderBytes, peerIdleTimeout
+	s := gate.Server(h, o)
 	g.Add(func() error {
-		err := s.Serve(l)
+		err := s.Serve(gate.Listener(l, o.Class))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -113,3 +120,35 @@
 		}
 	})
 }
+
+// Limits of the requests from members of the group, and of those without a body. A
+// request from a member is read, copied and decoded.
+var (
+	memberLimits = intake.Options{Class: intake.Members, MaxBodyBytes: int64(peers.MaxRequestBytes), Copies: 3, Eager: true}
+	emptyLimits  = intake.Options{Class: intake.Clients}
+)
+
+// newGate returns the gate of a process. outgoing is set if the process opens a
+// connection for each request that it serves.
+func newGate(cfg conf.Intake, outgoing bool, c clock.Clock, lg *log.Logger) *intake.Gate {
+	s := intake.Defaults(int64(cfg.MemoryMiB)<<20, cfg.Descriptors)
+	s.OutgoingPerClient = outgoing
+	for _, x := range []struct{ value, setting *clock.Millis }{
+		{&cfg.ProgressMillis, &s.ProgressMillis}, {&cfg.BodyMillis, &s.BodyMillis}, {&cfg.WriteMillis, &s.WriteMillis},
+	} {
+		if *x.value > 0 {
+			*x.setting = *x.value
+		}
+	}
+	return intake.New(s, c, lg)
+}
+
+// registerGate registers the metrics of a gate.
+func registerGate(r metrics.Registry, gate *intake.Gate) {
+	for _, c := range gate.Counts() {
+		registerCounters(r, []counter{{c.Name, c.Value}})
+	}
+	for _, c := range gate.Gauges() {
+		_ = admin.RegisterGauge(r, c.Name, c.Value)
+	}
+}
--- a/io/trans/roles/submit.go
+++ b/io/trans/roles/submit.go
@@ -15,8 +15,10 @@
 	"camphorridge/core/coord/runner"
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/model"
+	"camphorridge/io/proto/conf"
 	"camphorridge/io/trans/admin"
 	"camphorridge/io/trans/front"
+	"camphorridge/io/trans/intake"
 	"camphorridge/io/trans/logs"
 	"camphorridge/io/trans/peers"
 )
@@ -57,6 +59,10 @@
 	Handler        func(SubmitService) http.Handler
 	ReadyHandler   func(SubmitService) http.Handler
 	MaxHeaderBytes int
+	// MaxBodyBytes is the largest body of a submitter's request.
+	MaxBodyBytes int64
+	// Intake limits what clients can make the process hold.
+	Intake conf.Intake
 	// AdminAddress is the address for metrics, health and events.
 	AdminAddress string
 	// Reload reads the control processes from the settings again.
@@ -72,6 +78,7 @@
 	// lastPing is the time of the last successful check or call, in ms since 1970.
 	lastPing *atomic.Int64
 	leaving  *atomic.Bool
+	Gate     *intake.Gate
 	stats    *submitStats
 }
 
@@ -92,6 +99,7 @@
 	}
 	registerCounters(r, processCounters(client.Traffic))
 	registerCounters(r, []counter{{"log-lines-dropped", dropped}})
+	registerGate(r, s.Gate)
 	_ = r.Register("call-ms", s.stats.callMillis)
 	return r
 }
@@ -203,6 +211,7 @@
 	s := SubmitService{
 		leader: peers.NewLeaderClient(client, o.Controls, clk), clock: clk, Log: lg,
 		lastPing: &atomic.Int64{}, leaving: &atomic.Bool{}, stats: &submitStats{callMillis: admin.NewHistogram()},
+		Gate: newGate(o.Intake, true, clk, lg),
 	}
 	var g run.Group
 	addSignals(&g, lg)
@@ -217,13 +226,14 @@
 	adm, err := admin.New(admin.Config{
 		Address: o.AdminAddress, Labels: []admin.Label{{Name: "process", Value: string(o.Name)}, {Name: "zone", Value: string(o.Zone)}},
 		NotReadyReason: s.notReadyReason, Events: recorder.Page, StopMillis: peerStopTimeout, Registry: s.newMetrics(client, async.Dropped),
+		Gate: s.Gate,
 	})
 	if err != nil {
 		return &Error{Op: "listen for admin", Kind: KindListen, Err: err}
 	}
 	s.addSubmitters(&g, submitters, o)
 	addComponent(&g, &pinger{service: s, done: make(chan struct{})})
-	addServer(&g, ready, o.ReadyHandler(s), clock.Second)
+	addServer(&g, s.Gate, ready, o.ReadyHandler(s), emptyLimits, clock.Second)
 	addComponent(&g, newReloader(o.Reload, o.Controls, s.leader.SetMembers, clk, lg))
 	addComponent(&g, adm)
 	addComponent(&g, recorder)
@@ -239,13 +249,13 @@
 // within submitDrainTimeout.
 func (s SubmitService) addSubmitters(g *run.Group, l net.Listener, o SubmitOptions) {
 	h := o.Handler(s)
-	server := front.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := front.NewServer(s.Gate, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
-	}), o.MaxHeaderBytes)
-	g.Add(func() error { return server.Serve(l) }, func(error) {
+	}), o.MaxHeaderBytes, intake.Options{MaxBodyBytes: o.MaxBodyBytes})
+	g.Add(func() error { return server.Serve(s.Gate.Listener(l, intake.Clients)) }, func(error) {
 		s.leaving.Store(true)
 		<-s.clock.After(submitUnreadyTime)
 		if err := server.Shutdown(submitDrainTimeout); err != nil {
