Limit what requests between processes decode to

Cause: an empty nested message takes two bytes encoded and up to 247 bytes decoded, and each part of a packed field copies the elements of the earlier ones: a body of 2 MB in parts of 100 elements allocated 160 GB. Calls with large jobs shared a budget with the messages of the group. Change: a body of more than 2 KiB is read before it is decoded, and the memory for its parts is reserved; too many parts are refused. Messages of the group have a budget of their own. An entry process takes a refusal for lack of room as an overloaded leader, as the call was not executed.

--- a/io/proto/conf/table.go
+++ b/io/proto/conf/table.go
@@ -136,7 +136,7 @@
 // which both roles have.
 func intakeKeys[T any](intake func(*T) *Intake) []Key[T] {
 	return []Key[T]{
-		intKey("intake", "memory-mib", "MiB", "0", 0, 1<<24, "memory that the process may use; an eighth of it is for bodies of requests that are not yet handled, another eighth for those from other processes of the system, a sixteenth for bodies of at most 64 KiB, and about a third for decoding; 0 for the memory of the machine", func(x *T) *int { return &intake(x).MemoryMiB }),
+		intKey("intake", "memory-mib", "MiB", "0", 0, 1<<24, "memory that the process may use; an eighth of it is for bodies of requests that are not yet handled, another eighth for those from other processes of the system, another one for the messages of the control group, a sixteenth for bodies of at most 64 KiB, and about a third for decoding; 0 for the memory of the machine", func(x *T) *int { return &intake(x).MemoryMiB }),
 		intKey("intake", "max-descriptors", "descriptors", "0", 0, 1<<20, "descriptors that the process may have open, from which the numbers of connections are derived; 0 for the limit of the operating system", func(x *T) *int { return &intake(x).Descriptors }),
 		intKey("intake", "body-progress-ms", "ms", "5000", 10, 10*clock.Minute, "longest time without a byte of a body that is being read; then the request is refused with HTTP status 408", func(x *T) *clock.Millis { return &intake(x).ProgressMillis }),
 		intKey("intake", "body-total-ms", "ms", "10000", 10, 10*clock.Minute, "longest time of a whole body, in addition to the time that its bytes take at 1 Mbit/s; not for bodies that are passed on to upstreams", func(x *T) *clock.Millis { return &intake(x).BodyMillis }),
--- a/io/trans/intake/body.go
+++ b/io/trans/intake/body.go
@@ -45,6 +45,8 @@
 	read     int64
 	started  clock.Millis
 	armed    clock.Millis
+	// decoded is the memory that the decoded form takes beyond the copies of the body.
+	decoded  int64
 	admitted bool
 	err      *Error
 	// ended is set once the body was read to its end.
@@ -64,7 +66,7 @@
 	if b.options.HeldBytes > 0 {
 		n = min(n, b.options.HeldBytes)
 	}
-	return n * max(b.options.Copies, 1)
+	return n*max(b.options.Copies, 1) + b.decoded
 }
 
 // fail records and counts the first error of the body.
@@ -228,6 +230,11 @@
 		return readUnlimited(r.Body, limits.MaxBytes)
 	}
 	b.limit, b.options.Copies = min(b.limit, limits.MaxBytes), limits.Copies
+	return b.readAll()
+}
+
+// readAll reads the body whole.
+func (b *body) readAll() ([]byte, error) {
 	if e := b.admit(); e != nil {
 		return nil, e
 	}
--- a/io/trans/intake/gate.go
+++ b/io/trans/intake/gate.go
@@ -16,6 +16,7 @@
 const (
 	largeDivisor       = 8
 	memberDivisor      = 8
+	reservedDivisor    = 8
 	smallDivisor       = 16
 	largeDecodeDivisor = 4
 	smallDecodeDivisor = 16
@@ -76,6 +77,7 @@
 	small       Budget
 	large       Budget
 	members     Budget
+	reserved    Budget
 	smallDecode queue
 	largeDecode queue
 	counts      [kindCount]atomic.Int64
@@ -90,6 +92,7 @@
 	g.small.Capacity = max(s.MemoryBytes/smallDivisor, SmallBytes)
 	g.large.Capacity = max(s.MemoryBytes/largeDivisor, SmallBytes)
 	g.members.Capacity = max(s.MemoryBytes/memberDivisor, SmallBytes)
+	g.reserved.Capacity = max(s.MemoryBytes/reservedDivisor, SmallBytes)
 	g.smallDecode.capacity = max(s.MemoryBytes/smallDecodeDivisor, smallDecodeBytes)
 	g.largeDecode.capacity = max(s.MemoryBytes/largeDecodeDivisor, smallDecodeBytes)
 	g.connections[Clients].most, g.connections[Members].most = connectionLimits(s)
@@ -128,7 +131,7 @@
 // Gauges returns the bytes that are reserved and the open connections.
 func (g *Gate) Gauges() []Count {
 	return []Count{
-		{"intake-body-bytes", func() int64 { return g.small.Used() + g.large.Used() + g.members.Used() }},
+		{"intake-body-bytes", func() int64 { return g.small.Used() + g.large.Used() + g.members.Used() + g.reserved.Used() }},
 		{"intake-connections", func() int64 { return int64(g.connections[Clients].count() + g.connections[Members].count()) }},
 	}
 }
--- a/io/trans/intake/server.go
+++ b/io/trans/intake/server.go
@@ -1,9 +1,12 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"camphorridge/core/state/clock"
@@ -37,6 +40,13 @@
 	// Eager is set if memory is to be reserved before the handler is called, which then
 	// need not know this package. Otherwise it is reserved at the first read.
 	Eager bool
+	// DecodedBytes returns the memory that decoding a body takes at most beyond its copies,
+	// and false for a body that must not be decoded. If it is set, Eager bodies are read
+	// before the handler is called, which then runs with that memory reserved.
+	DecodedBytes func(r *http.Request, body []byte) (int64, bool)
+	// ReservedPath is the prefix of the paths of requests whose large bodies have a budget
+	// of their own; empty if there are none.
+	ReservedPath string
 	// IdleTimeout is the longest time that a connection waits for a request.
 	IdleTimeout time.Duration
 }
@@ -66,6 +76,9 @@
 			gate: g, src: r.Body, controller: http.NewResponseController(w), options: o,
 			limit: o.MaxBodyBytes, length: r.ContentLength, charge: charge{budgets: budgets},
 		}
+		if o.ReservedPath != "" && strings.HasPrefix(r.URL.Path, o.ReservedPath) {
+			b.charge.budgets.Large = &g.reserved
+		}
 		if b.conn, _ = r.Context().Value(connKey{}).(*conn); b.conn != nil {
 			b.received = b.conn.received.Load()
 		}
@@ -78,10 +91,42 @@
 		}
 		limited := *r
 		limited.Body = b
+		if o.DecodedBytes != nil && (r.ContentLength < 0 || r.ContentLength > freeBodyBytes) {
+			if err := b.readAhead(&limited); err != nil {
+				Refuse(w, err)
+				return
+			}
+		}
 		next.ServeHTTP(w, &limited)
 	})
 }
 
+// freeBodyBytes is the announced size up to which decoding needs no reservation. Decoding
+// such a body takes so little time that hardly more requests than processors do so at
+// once.
+const freeBodyBytes = 2 << 10
+
+// readAhead reads the body of a request and reserves memory for decoding it. The request
+// then has the bytes that were read as its body.
+func (b *body) readAhead(r *http.Request) error {
+	p, err := b.readAll()
+	if err != nil {
+		return err
+	}
+	n, ok := b.options.DecodedBytes(r, p)
+	// A reservation of more than the whole budget is possible for a large body, but not
+	// for its decoded form, whose size has no other limit.
+	if !ok || n > b.charge.budgets.Large.Capacity {
+		return b.fail(newError(KindFragmented, "the message has too many parts"))
+	}
+	b.decoded = n
+	if e := b.grow(int64(len(p))); e != nil {
+		return e
+	}
+	r.Body = io.NopCloser(bytes.NewReader(p))
+	return nil
+}
+
 // SetHeader sets the header of a response that refuses a request because of err, and
 // returns its status. A request that was refused for lack of room may be sent again.
 func SetHeader(h http.Header, err error) int {
@@ -93,7 +138,10 @@
 	return e.Status()
 }
 
-// Refuse answers a request that was refused because of err.
+// NotRun is the beginning of the body of a response of Refuse.
+const NotRun = "not run: "
+
+// Refuse answers a request that was refused because of err before it was handled.
 func Refuse(w http.ResponseWriter, err error) {
-	http.Error(w, errors.Unwrap(asError(err)).Error(), SetHeader(w.Header(), err))
+	http.Error(w, NotRun+errors.Unwrap(asError(err)).Error(), SetHeader(w.Header(), err))
 }
--- a/io/trans/peers/work.go
+++ b/io/trans/peers/work.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/twitchtv/twirp"
 
@@ -11,6 +14,7 @@
 	"camphorridge/core/state/clock"
 	"camphorridge/io/proto/codec"
 	"camphorridge/io/proto/wirepb"
+	"camphorridge/io/trans/intake"
 )
 
 // Runner executes calls of submitters; the production implementation is
@@ -89,6 +93,10 @@
 	req.Stamp = l.client.stamp()
 	err := l.callWithTimeout(ctx, "work", workTimeout, func(ctx context.Context, member remote) error {
 		resp, err := member.work.Handle(ctx, req)
+		if refusedByGate(err) {
+			a = runner.Answer{Kind: runner.AnswerOverloaded, RetryAfter: clock.Second, Reason: err.Error()}
+			return nil
+		}
 		if err != nil {
 			mayHaveRun = mayHaveRun || attemptMayHaveRun(err)
 			return err
@@ -115,6 +123,15 @@
 	return a, err
 }
 
+// refusedByGate reports whether a request was refused before it was handled because the
+// called process has no room for its body. The library takes such a response for one of
+// a proxy.
+func refusedByGate(err error) bool {
+	var te twirp.Error
+	return errors.As(err, &te) && te.Meta("status_code") == strconv.Itoa(http.StatusServiceUnavailable) &&
+		strings.HasPrefix(te.Meta("body"), intake.NotRun)
+}
+
 // wholeAnswer converts a message to an answer. WorkServer.Handle stamps each answer.
 // A message without a stamp, such as an empty one, is an error: its zero values would
 // be read as success.
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -17,6 +17,7 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/io/proto/conf"
+	"camphorridge/io/proto/wirepb"
 	"camphorridge/io/trans/admin"
 	"camphorridge/io/trans/intake"
 	"camphorridge/io/trans/peers"
@@ -124,8 +125,12 @@
 // Limits of the requests from members of the group, and of those without a body. A
 // request from a member is read, copied and decoded.
 var (
-	memberLimits = intake.Options{Class: intake.Members, MaxBodyBytes: int64(peers.MaxRequestBytes), Copies: 3, Eager: true}
-	emptyLimits  = intake.Options{Class: intake.Clients}
+	memberLimits = intake.Options{
+		Class: intake.Members, MaxBodyBytes: int64(peers.MaxRequestBytes), Copies: 3, Eager: true, DecodedBytes: peers.DecodedBytes,
+		// Large submissions must not displace the messages of the group.
+		ReservedPath: wirepb.ConsensusPathPrefix,
+	}
+	emptyLimits = intake.Options{Class: intake.Clients}
 )
 
 // newGate returns the gate of a process. outgoing is set if the process opens a
