--- a/io/trans/intake/intake_test.go
+++ b/io/trans/intake/intake_test.go
@@ -236,7 +236,7 @@
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p, _ := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
 		fmt.Fprint(w, len(p))
-	})}
+	}), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
 	go func() { _ = s.Serve(plain) }()
 	defer s.Close()
 	g := New(Defaults(1<<30, 1024), clock.Real(), nil)
