Reword and simplify what a first reader stumbled over

Two were faults: the credit of a customer's rate could overflow after 72 minutes without a job at the largest weight, and a customer that no configuration names had a quota of 0 until the next configuration.

Change: the time that fills a credit is bounded, customers begin without a limit; names that were used twice (key, queue, reserved, ahead, body) and comments are replaced; errors of package intake give values; placePool, the larger and the smaller amount of resources are one function each.

Result: tests of sched (-short), runner, jobs, order, intake, conf, front and peers pass.

--- a/core/coord/runner/inputs.go
+++ b/core/coord/runner/inputs.go
@@ -176,13 +176,12 @@
 		r.countUnauthorized(customer)
 		return Answer{Kind: AnswerUnauthorized, Reason: refusal}
 	}
-	return r.decideJobCall(c, &q, jobs.CancelKey{Job: id, Customer: customer}, now)
+	return r.decideJobCall(c, &q, id, customer, now)
 }
 
-// authorize returns the customer whose key a call to a queue has, empty for a call without
-// a key of a customer, and why the call is refused; empty if it is allowed. A customer may act on
-// its own jobs only. Jobs without an owner, and those of public queues at the path of
-// their queue, are open to all.
+// authorize returns the customer whose key a call has, empty if it has none, and why the
+// call is refused, empty if it is allowed. A customer may act on its own jobs only. Jobs
+// without an owner, and those of public queues at the path of their queue, are open to all.
 func (r *Runner[G, M, O, J]) authorize(c *Call, q *jobs.Queue, id jobs.ID) (customer jobs.CustomerName, refusal string) {
 	if !r.scheduler.State.Config.RequiresKeys {
 		return "", ""
@@ -213,16 +212,15 @@
 	case !ok && rec == nil:
 		return Answer{Kind: AnswerNoQueue, Reason: "no queue has this name"}
 	}
-	k := jobs.CancelKey{Job: c.JobID}
+	var owner jobs.CustomerName
 	if rec != nil {
-		k.Customer = rec.Customer
+		owner = rec.Customer
 	}
-	return r.decideJobCall(c, &q, k, now)
+	return r.decideJobCall(c, &q, c.JobID, owner, now)
 }
 
 // decideJobCall decides on a call about a job by a customer.
-func (r *Runner[G, M, O, J]) decideJobCall(c *Call, q *jobs.Queue, k jobs.CancelKey, now clock.Millis) Answer {
-	id := k.Job
+func (r *Runner[G, M, O, J]) decideJobCall(c *Call, q *jobs.Queue, id jobs.ID, customer jobs.CustomerName, now clock.Millis) Answer {
 	rec := r.scheduler.State.Jobs[id]
 	switch {
 	case c.Kind == CallPending:
@@ -232,8 +230,8 @@
 	case c.Kind == CallSubmit && len(id) > jobs.MaxIDBytes:
 		return Answer{Kind: AnswerInvalid, Reason: fmt.Sprintf("the ID of the job has more than %d bytes", jobs.MaxIDBytes)}
 	case c.Kind == CallSubmit:
-		return r.submit(c, q, k, now)
-	case c.Kind == CallCancel && (rec != nil || len(id) <= jobs.MaxIDBytes) && !r.scheduler.Cancel(k, now):
+		return r.submit(c, q, id, customer, now)
+	case c.Kind == CallCancel && (rec != nil || len(id) <= jobs.MaxIDBytes) && !r.scheduler.Cancel(jobs.CancelKey{Job: id, Customer: customer}, now):
 		return overloaded(c, "too many cancels of unknown jobs are remembered")
 	case rec == nil:
 		return Answer{Kind: AnswerNoJob, Reason: "no such job"}
@@ -246,8 +244,7 @@
 
 // submit submits a job. A job that is not known is refused if its submission is older
 // than maxSubmissionAge: an acknowledged cancel of it may be forgotten.
-func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, k jobs.CancelKey, now clock.Millis) Answer {
-	id := k.Job
+func (r *Runner[G, M, O, J]) submit(c *Call, q *jobs.Queue, id jobs.ID, customer jobs.CustomerName, now clock.Millis) Answer {
 	known := r.scheduler.State.Jobs[id] != nil
 	if age := r.leaderTime(now) - c.IssuedAt; c.IssuedAt != 0 && !known && age > lateSubmissionAge {
 		r.noteLateSubmission(id, age)
@@ -257,7 +254,7 @@
 		}
 	}
 	j := c.Job
-	j.ID, j.Customer, j.Queue, j.Pool = id, k.Customer, q.Name, q.Pool
+	j.ID, j.Customer, j.Queue, j.Pool = id, customer, q.Name, q.Pool
 	j.Priority, j.MaxAttempts, j.Target, j.StretchPermille = q.Priority, q.MaxAttempts, q.Target, q.StretchPermille
 	if !known {
 		if a, ok := r.checkSize(jobs.Op{Kind: jobs.OpSubmit, Job: &j}); !ok {
--- a/core/state/jobs/state.go
+++ b/core/state/jobs/state.go
@@ -41,8 +41,9 @@
 	MachineOrders []MachineOrder
 }
 
-// orderRetention is how long an order for a machine is kept. It is well above the time
-// for which a new leader waits, because the clocks of successive leaders differ.
+// orderRetention is how long an order for a machine is kept. It must exceed the time for
+// which an order matters to a new leader, see sched.Settings, with a margin for clocks that
+// differ.
 const orderRetention = 30 * clock.Second
 
 // CancelKey identifies the cancels that hold against a submission: those of the same
--- a/core/state/sched/advice.go
+++ b/core/state/sched/advice.go
@@ -155,10 +155,10 @@
 }
 
 // adviceRequestSize returns the number of workers to name in a request, at most
-// maxAdviceWorkers. The number that the waiting tasks need, as far as the quota lets them start, is divided by the share
-// of requested workers that were approved so far, which is taken as one half before
-// the first response; one more is added. All candidates are assumed to be as large
-// as w.
+// maxAdviceWorkers. The number that the waiting tasks need, as far as the quota lets them
+// start, is divided by the share of requested workers that were approved so far, which is
+// taken as one half before the first response; one more is added. All candidates are
+// assumed to be as large as w.
 func (s *Scheduler[P, H]) adviceRequestSize(g *taskGroup, w *worker) int {
 	wanted := (g.customer.startable(g, jobs.Resources{}) + w.fitCount(w.capacity, g) - 1) / w.fitCount(w.capacity, g)
 	count := s.advice.counts[g.rec.Queue]
--- a/core/state/sched/blocked.go
+++ b/core/state/sched/blocked.go
@@ -46,7 +46,7 @@
 
 // Merge returns the needs of the groups of both.
 func (n blockedNeeds) Merge(o blockedNeeds) blockedNeeds {
-	return blockedNeeds{n.groupNeeds.Merge(o.groupNeeds), least(n.quota, o.quota)}
+	return blockedNeeds{n.groupNeeds.Merge(o.groupNeeds), minResources(n.quota, o.quota)}
 }
 
 // block moves a group that waits for its quota from the ranked list of its pool to the
@@ -88,8 +88,8 @@
 }
 
 // blockLeading blocks those of the first few groups of the ranked list that wait for
-// their quota. A pass does not come to them while no worker of the
-// pool has room, and readers of the list would go through them each time.
+// their quota. A pass does not come to them while no worker of the pool has room, and
+// readers of the list would go through them each time.
 func (s *Scheduler[P, H]) blockLeading(p *pool, now clock.Millis) {
 	var blocked []*taskGroup
 	visited := 0
@@ -199,7 +199,7 @@
 }
 
 // nextBlocked returns the blocked group of a customer that ranks first among those that
-// mayFit accepts and that the quota lets start while the customer holds more than held,
+// mayFit accepts and that the quota lets start if the customer held more in addition,
 // and its pool; nil if there is none.
 func (s *Scheduler[P, H]) nextBlocked(c *customer, more jobs.Resources, mayFit func(*pool, groupNeeds) bool, now clock.Millis) (*pool, *taskGroup) {
 	for {
--- a/core/state/sched/explain.go
+++ b/core/state/sched/explain.go
@@ -176,9 +176,9 @@
 	return report
 }
 
-// waitReason returns WaitQuota if the quota lets no task start. Otherwise it filters the live workers of the pool by each requirement of the
-// task in turn, and returns the reason of the first one that no remaining
-// worker meets.
+// waitReason returns WaitQuota if the quota lets no task start. Otherwise it filters the
+// live workers of the pool by each requirement of the task in turn, and returns the reason
+// of the first one that no remaining worker meets.
 func (s *Scheduler[P, H]) waitReason(rec *jobs.Record, occurrence, step int, now clock.Millis) WaitReason {
 	key := stepKey{rec.ID, occurrence, step}
 	g := s.pool(s.poolOf(rec)).groupByStep[key]
--- a/core/state/sched/late_end.go
+++ b/core/state/sched/late_end.go
@@ -27,9 +27,8 @@
 	}
 }
 
-// acceptLateEnd completes the task of a run that the worker reports as done after its lease
-// has ended. Without it the task would be carried out once more, for the whole of its
-// duration. A later run of the task is stopped.
+// acceptLateEnd completes the task of a run that was lost with its worker's lease, if the
+// worker reports it as done later. A later run of the task is stopped.
 func (s *Scheduler[P, H]) acceptLateEnd(w *worker, e RunEnd, now clock.Millis) {
 	expired := expiredRun{e.Task, e.Run, w.id, w.incarnation}
 	rec := s.State.Jobs[e.Task.Job]
--- a/core/state/sched/pass.go
+++ b/core/state/sched/pass.go
@@ -119,6 +119,12 @@
 			s.reserve(p, g, now)
 		}
 	}
+	s.dropFromRanked(p, ended, blocked, now)
+}
+
+// dropFromRanked removes groups that have ended, and blocks groups that wait for their
+// quota.
+func (s *Scheduler[P, H]) dropFromRanked(p *pool, ended, blocked []*taskGroup, now clock.Millis) {
 	for _, g := range ended {
 		p.removeGroup(g)
 	}
--- a/core/state/sched/queue.go
+++ b/core/state/sched/queue.go
@@ -236,11 +236,18 @@
 
 // Merge returns the needs of the groups of both.
 func (n groupNeeds) Merge(o groupNeeds) groupNeeds {
-	return groupNeeds{smallest: least(n.smallest, o.smallest), special: n.special || o.special}
+	return groupNeeds{smallest: minResources(n.smallest, o.smallest), special: n.special || o.special}
 }
 
-// least returns the smaller amount of each resource.
-func least(a, b jobs.Resources) jobs.Resources {
+// maxResources returns the larger amount of each resource.
+func maxResources(x, y jobs.Resources) jobs.Resources {
+	return jobs.Resources{
+		MilliCores: max(x.MilliCores, y.MilliCores), MemoryMiB: max(x.MemoryMiB, y.MemoryMiB), Accelerators: max(x.Accelerators, y.Accelerators),
+	}
+}
+
+// minResources returns the smaller amount of each resource.
+func minResources(a, b jobs.Resources) jobs.Resources {
 	return jobs.Resources{
 		MilliCores:   min(a.MilliCores, b.MilliCores),
 		MemoryMiB:    min(a.MemoryMiB, b.MemoryMiB),
--- a/core/state/sched/quota.go
+++ b/core/state/sched/quota.go
@@ -48,6 +48,7 @@
 	c := s.customers[name]
 	if c == nil {
 		c = &customer{name: name, blocked: map[*pool]*blockedGroups{}}
+		c.setQuota(jobs.Resources{})
 		s.customers[name] = c
 	}
 	return c
@@ -64,7 +65,7 @@
 	}
 	for name, c := range s.customers {
 		c.setQuota(quotas[name])
-		s.roomChanged(c)
+		s.recheckBlocked(c)
 	}
 }
 
@@ -91,12 +92,13 @@
 func (s *Scheduler[P, H]) removeHeld(c *customer, resources jobs.Resources) {
 	if c != nil {
 		c.held = c.held.Minus(resources)
-		s.roomChanged(c)
+		s.recheckBlocked(c)
 	}
 }
 
-// roomChanged lets the next pass look at the blocked groups of a customer.
-func (s *Scheduler[P, H]) roomChanged(c *customer) {
+// recheckBlocked makes the next pass check the blocked groups of a customer against its
+// quota.
+func (s *Scheduler[P, H]) recheckBlocked(c *customer) {
 	if c.blockedCount > 0 {
 		s.unblocking[c] = true
 	}
@@ -107,7 +109,7 @@
 // latter lets work start that exceeds the quota by itself.
 func (c *customer) allows(need jobs.Resources) bool { return c.allowsBeside(need, jobs.Resources{}) }
 
-// allowsBeside reports the same while the customer holds more than held.
+// allowsBeside reports the same if the customer held more in addition to what it holds.
 func (c *customer) allowsBeside(need, more jobs.Resources) bool {
 	if c == nil || !c.limited {
 		return true
@@ -116,8 +118,8 @@
 	return held == jobs.Resources{} || need.FitsIn(c.quota.Minus(held))
 }
 
-// startable returns how many of the waiting tasks of a group the quota lets start while
-// the customer holds more than held.
+// startable returns how many of the waiting tasks of a group the quota lets start if the
+// customer held more in addition to what it holds.
 func (c *customer) startable(g *taskGroup, more jobs.Resources) int {
 	waiting := len(g.waiting)
 	switch {
@@ -258,7 +260,7 @@
 			work += finiteMilliCoreMillis(step, step.TaskCount, step.Estimate)
 		}
 	}
-	if c != nil && c.quota.MilliCores < math.MaxInt && c.limited {
+	if c != nil && c.quota.MilliCores < math.MaxInt {
 		left := clock.Millis(max(0, c.quota.MilliCores-c.held.MilliCores)) * rebalancePeriodMillis
 		work = min(work, max(0, left-p.newByCustomer[c]))
 		p.newByCustomer[c] += work
--- a/core/state/sched/room.go
+++ b/core/state/sched/room.go
@@ -33,9 +33,7 @@
 
 // add extends largest to what is free on a worker.
 func (r *room) add(free jobs.Resources) {
-	r.largest.MilliCores = max(r.largest.MilliCores, free.MilliCores)
-	r.largest.MemoryMiB = max(r.largest.MemoryMiB, free.MemoryMiB)
-	r.largest.Accelerators = max(r.largest.Accelerators, free.Accelerators)
+	r.largest = maxResources(r.largest, free)
 }
 
 // exclude notes that a reservation fits on no worker.
--- a/core/state/sched/scheduler.go
+++ b/core/state/sched/scheduler.go
@@ -40,7 +40,8 @@
 	// configuredPools holds the pools that the configuration names.
 	configuredPools map[jobs.PoolName]bool
 	// configVersion is the version of the configuration that poolByQueue,
-	// configuredPools, queueAdvice and customersByKey were built from.
+	// configuredPools, queueAdvice, customersByKey, the quotas and the weights were
+	// built from.
 	configVersion uint64
 	// queueAdvice holds the advice policies of the configured queues that have
 	// advice.
@@ -329,8 +330,8 @@
 // PendingOps returns the number of operations that no plan contains yet.
 func (s *Scheduler[P, H]) PendingOps() int { return len(s.plan.Ops) }
 
-// readConfig rebuilds poolByQueue, configuredPools, queueAdvice, customersByKey and the
-// quotas if the configuration has changed.
+// readConfig rebuilds poolByQueue, configuredPools, queueAdvice, customersByKey, the quotas
+// and the weights if the configuration has changed.
 func (s *Scheduler[P, H]) readConfig() {
 	c := &s.State.Config
 	if s.poolByQueue != nil && c.Version == s.configVersion {
--- a/core/state/sched/share.go
+++ b/core/state/sched/share.go
@@ -112,7 +112,9 @@
 	if !ok {
 		c = credit{amount: limit, at: rec.AcceptedAt}
 	}
-	c.amount = min(c.amount+weight*int64(max(rec.AcceptedAt-c.at, 0)), limit)
+	// An elapsed time that fills the credit is enough; a longer one could overflow.
+	elapsed := min(max(int64(rec.AcceptedAt-c.at), 0), limit/weight+1)
+	c.amount = min(c.amount+weight*elapsed, limit)
 	c.at = max(c.at, rec.AcceptedAt)
 	if c.amount >= jobCredit {
 		c.amount -= jobCredit
--- a/core/state/sched/shareorder.go
+++ b/core/state/sched/shareorder.go
@@ -35,8 +35,8 @@
 // advance, because tasks that have started are not taken back. The largest virtual time
 // decides. Long-running tasks are not counted; the customers share what these leave.
 //
-// A customer with nothing waiting does not save up: when it waits again, it goes on at the
-// virtual time of the pool. While all work fits, what a customer uses beyond its share
+// A customer with nothing waiting gains no credit: when it waits again, its virtual time is
+// at least that of the pool. While all work fits, what a customer uses beyond its share
 // counts against it later for at most one share window. So the backlog of others does not
 // delay a customer, however small its weight. While the order applies, a task that is the
 // next one of its customer and fits on any worker starts within the sum of:
@@ -121,8 +121,9 @@
 	return a
 }
 
-// ahead returns what the running tasks of a customer are counted ahead, by resource.
-func (o *shareOrder) ahead(a *account) (virtual [resourceCount]float64) {
+// foresight returns the virtual time by which the running tasks of a customer are counted
+// ahead, by resource.
+func (o *shareOrder) foresight(a *account) (virtual [resourceCount]float64) {
 	for i, part := range partsOf(a.running, o.capacity) {
 		virtual[i] = part * o.meanEstimate * foresightPermille / 1000 / a.weight
 	}
@@ -132,7 +133,7 @@
 // virtualTime returns the virtual time of a customer's dominant resource.
 func (o *shareOrder) virtualTime(a *account) float64 {
 	v := 0.0
-	for i, ahead := range o.ahead(a) {
+	for i, ahead := range o.foresight(a) {
 		v = max(v, a.used[i]+ahead)
 	}
 	return v
@@ -143,7 +144,7 @@
 // order applies: by what one window makes if all customers use their shares.
 func (o *shareOrder) settle(a *account, terms *shares, now clock.Millis) {
 	limit := float64(terms.window) / float64(terms.totalWeight)
-	parts, ahead, elapsed := partsOf(a.running, o.capacity), o.ahead(a), max(now-a.usedAt, 0)
+	parts, ahead, elapsed := partsOf(a.running, o.capacity), o.foresight(a), max(now-a.usedAt, 0)
 	for i := range a.used {
 		a.used[i] += parts[i] * float64(elapsed) * (1000 - advancePermille) / 1000 / a.weight
 		a.used[i] = max(a.used[i], o.virtual-limit-ahead[i])
@@ -158,7 +159,7 @@
 func (o *shareOrder) add(g *taskGroup, terms *shares, now clock.Millis) {
 	a := o.account(g.rec.Customer, terms, now)
 	if a.groups == 0 {
-		for i, ahead := range o.ahead(a) {
+		for i, ahead := range o.foresight(a) {
 			a.used[i] = max(a.used[i], o.virtual-ahead)
 		}
 	}
@@ -423,10 +424,3 @@
 	}
 	return false
 }
-
-// maxResources returns the larger amount of each resource.
-func maxResources(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{
-		MilliCores: max(x.MilliCores, y.MilliCores), MemoryMiB: max(x.MemoryMiB, y.MemoryMiB), Accelerators: max(x.Accelerators, y.Accelerators),
-	}
-}
--- a/core/state/sched/takeover.go
+++ b/core/state/sched/takeover.go
@@ -16,21 +16,19 @@
 // have been set between the order and the latest change of the state.
 const clockMarginMillis = 3 * clock.Second
 
-// takeover holds what a new leader needs to know before it gives orders for machines. It
-// answers a load that changes while the leader does: without orders, no machine reaches a
-// pool whose peak has begun.
+// takeover holds what a new leader needs to know before it gives orders for machines. A
+// leader that waits without need is slow to move machines to a pool whose peak has begun.
 type takeover struct {
-	// inherited holds the machines for which earlier leaders may have given orders
-	// lately, and those of which they may give some that are still in flight.
+	// inherited holds the machines of recent orders of earlier leaders, and those whose
+	// maintenance was ordered and is not recorded as started.
 	inherited map[jobs.MachineID]bool
 	// settled caches a positive result of isSettled.
 	settled bool
 }
 
 // newTakeover returns the takeover from the leader that has left the given state. An order
-// is committed before it is sent, so the state has all of them. effect is how long an order
-// may have an effect: this leader waits for TakeoverDelayMillis before it gives an order for
-// the same machine, and the machine may be down.
+// is committed before it is sent, so the state has all of them. An order is recent for
+// effect plus clockMarginMillis.
 func newTakeover(state *jobs.State, effect clock.Millis) takeover {
 	t := takeover{inherited: map[jobs.MachineID]bool{}}
 	for _, o := range state.MachineOrders {
@@ -96,7 +94,8 @@
 	return false
 }
 
-// restoreMoves adds the moves of an earlier leader that may be in progress.
+// restoreMoves adds the moves of an earlier leader that may be in progress. The orders are
+// in the order of time: a later order for maintenance ends an earlier move.
 func (s *Scheduler[P, H]) restoreMoves(now clock.Millis) {
 	for _, o := range s.State.MachineOrders {
 		age := s.State.Time - o.At
--- a/io/trans/front/body.go
+++ b/io/trans/front/body.go
@@ -63,7 +63,8 @@
 	return p, nil
 }
 
-// bodyStatus returns the status of a response to a request whose body could not be read.
+// bodyStatus returns the status of a response to a request whose body could not be read. A
+// body that is too slow or fragmented counts as malformed.
 func bodyStatus(err error) int {
 	var e *intake.Error
 	if errors.As(err, &e) && (e.Kind == intake.KindBudget || e.Kind == intake.KindTooLarge) {
--- a/io/trans/intake/body.go
+++ b/io/trans/intake/body.go
@@ -14,8 +14,8 @@
 
 // Limits of the bodies of requests.
 const (
-	// chunkSlack is the number of bytes that the framing of a chunked body may have
-	// beyond the bytes of its content: about 64 KiB of chunks of one byte.
+	// chunkSlack is by how many bytes the framing of a chunked body may exceed its
+	// content. 16,384 chunks of one byte use it up.
 	chunkSlack = 64 << 10
 	// discardTime is how long the rest of a body that was not read may take to arrive.
 	// net/http discards up to 256 KiB, so that the connection can be used again.
@@ -85,7 +85,7 @@
 		return b.err
 	}
 	if b.length > b.limit {
-		return b.fail(newError(KindTooLarge, "the body has more than %d bytes", b.limit))
+		return b.fail(newError(KindTooLarge, "the body has %d bytes; allowed: at most %d", b.length, b.limit))
 	}
 	b.started = b.gate.clock.Now()
 	if e := b.grow(max(b.length, 0)); e != nil {
@@ -166,16 +166,17 @@
 		b.finish()
 		return n, io.EOF
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return 0, b.fail(newError(KindTooSlow, "the body arrives too slowly"))
+		return 0, b.fail(newError(KindTooSlow, "the body arrives too slowly: %d of its bytes have arrived", b.read))
 	case err != nil:
 		return 0, b.fail(newError(KindBody, "%w", err))
 	case b.fragmented():
-		return 0, b.fail(newError(KindFragmented, "the chunks of the body are too small"))
+		return 0, b.fail(newError(KindFragmented, "the framing of the body exceeds its %d bytes of content by more than %d bytes", b.read, chunkSlack))
 	}
 	return n, nil
 }
 
-// fragmented reports whether the framing of the body is larger than its content.
+// fragmented reports whether the framing of the body exceeds its content by more than
+// chunkSlack.
 func (b *body) fragmented() bool {
 	return b.length < 0 && b.conn != nil && b.conn.received.Load()-b.received > 2*b.read+chunkSlack
 }
@@ -213,8 +214,8 @@
 // Close implements io.Closer.
 func (b *body) Close() error { return b.src.Close() }
 
-// Body limits the body of one request.
-type Body struct {
+// BodyLimits holds the limits of the body of one request.
+type BodyLimits struct {
 	// MaxBytes is the largest size.
 	MaxBytes int64
 	// Copies is the number of copies of the body that handling it makes, with the body
@@ -224,7 +225,7 @@
 
 // ReadAll reads the body of a request whole. The error is an *Error. Its memory stays
 // reserved until the handler of the request returns.
-func ReadAll(r *http.Request, limits Body) ([]byte, error) {
+func ReadAll(r *http.Request, limits BodyLimits) ([]byte, error) {
 	b, ok := r.Body.(*body)
 	if !ok {
 		return readUnlimited(r.Body, limits.MaxBytes)
--- a/io/trans/intake/decode.go
+++ b/io/trans/intake/decode.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"camphorridge/core/state/clock"
 )
 
+var errDecoding = errors.New("too many large requests are being decoded")
+
 // Limits of the requests that wait for memory to be decoded.
 const (
 	maxDecodeWaiters              = 256
@@ -19,8 +22,8 @@
 	freeDecodeBytes = 64 << 10
 )
 
-// queue grants memory in the order of the requests for it.
-type queue struct {
+// semaphore grants memory in the order of the requests for it.
+type semaphore struct {
 	capacity int64
 	mu       sync.Mutex
 	used     int64
@@ -36,7 +39,7 @@
 
 // acquire reserves n bytes, or the whole capacity if that is less. It waits until ctx is
 // done or decodeWait has passed, and returns the number of reserved bytes.
-func (q *queue) acquire(ctx context.Context, clk clock.Clock, n int64) (int64, bool) {
+func (q *semaphore) acquire(ctx context.Context, clk clock.Clock, n int64) (int64, bool) {
 	n = min(n, q.capacity)
 	q.mu.Lock()
 	if len(q.waiters) == 0 && q.used+n <= q.capacity {
@@ -61,7 +64,7 @@
 }
 
 // abandon removes a waiter. It returns true if the waiter was granted its memory first.
-func (q *queue) abandon(w *waiter) bool {
+func (q *semaphore) abandon(w *waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for i, x := range q.waiters {
@@ -74,7 +77,7 @@
 	return true
 }
 
-func (q *queue) release(n int64) {
+func (q *semaphore) release(n int64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.used -= n
@@ -82,7 +85,7 @@
 }
 
 // grant grants the oldest requests that fit. q.mu is held.
-func (q *queue) grant() {
+func (q *semaphore) grant() {
 	for len(q.waiters) > 0 && q.used+q.waiters[0].bytes <= q.capacity {
 		w := q.waiters[0]
 		q.waiters = q.waiters[1:]
--- a/io/trans/intake/gate.go
+++ b/io/trans/intake/gate.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"errors"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
@@ -9,14 +8,12 @@
 	"camphorridge/core/state/clock"
 )
 
-var errDecoding = errors.New("too many large requests are being decoded")
-
-// The shares of a process's memory, as divisors. Together with what the process uses
-// without requests they stay below 70% of it, which is the soft limit of the runtime.
+// The shares of a process's memory, as divisors. Their sum is 3/4 of the memory: they are
+// not expected to be used up at once.
 const (
 	largeDivisor       = 8
 	memberDivisor      = 8
-	reservedDivisor    = 8
+	consensusDivisor   = 8
 	smallDivisor       = 16
 	largeDecodeDivisor = 4
 	smallDecodeDivisor = 16
@@ -77,9 +74,9 @@
 	small       Budget
 	large       Budget
 	members     Budget
-	reserved    Budget
-	smallDecode queue
-	largeDecode queue
+	consensus   Budget
+	smallDecode semaphore
+	largeDecode semaphore
 	counts      [kindCount]atomic.Int64
 	// lastLogged holds the time of the last log line of each kind.
 	lastLogged  [kindCount]atomic.Int64
@@ -92,7 +89,7 @@
 	g.small.Capacity = max(s.MemoryBytes/smallDivisor, SmallBytes)
 	g.large.Capacity = max(s.MemoryBytes/largeDivisor, SmallBytes)
 	g.members.Capacity = max(s.MemoryBytes/memberDivisor, SmallBytes)
-	g.reserved.Capacity = max(s.MemoryBytes/reservedDivisor, SmallBytes)
+	g.consensus.Capacity = max(s.MemoryBytes/consensusDivisor, SmallBytes)
 	g.smallDecode.capacity = max(s.MemoryBytes/smallDecodeDivisor, smallDecodeBytes)
 	g.largeDecode.capacity = max(s.MemoryBytes/largeDecodeDivisor, smallDecodeBytes)
 	g.connections[Clients].most, g.connections[Members].most = connectionLimits(s)
@@ -131,7 +128,7 @@
 // Gauges returns the bytes that are reserved and the open connections.
 func (g *Gate) Gauges() []Count {
 	return []Count{
-		{"intake-body-bytes", func() int64 { return g.small.Used() + g.large.Used() + g.members.Used() + g.reserved.Used() }},
+		{"intake-body-bytes", func() int64 { return g.small.Used() + g.large.Used() + g.members.Used() + g.consensus.Used() }},
 		{"intake-connections", func() int64 { return int64(g.connections[Clients].count() + g.connections[Members].count()) }},
 	}
 }
--- a/io/trans/intake/intake_test.go
+++ b/io/trans/intake/intake_test.go
@@ -26,7 +26,7 @@
 
 // testServer serves the gate's limits. Its handler reads the whole body and answers with
 // its size, or refuses the request.
-func testServer(t testing.TB, g *Gate, o Options, limits Body) string {
+func testServer(t testing.TB, g *Gate, o Options, limits BodyLimits) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -81,7 +81,7 @@
 func TestBodiesAreServedOrRefused(t *testing.T) {
 	const limit = 256 << 10
 	g := New(testSettings(), clock.Real(), nil)
-	address := testServer(t, g, Options{}, Body{MaxBytes: limit, Copies: 1})
+	address := testServer(t, g, Options{}, BodyLimits{MaxBytes: limit, Copies: 1})
 	for _, c := range []struct {
 		name, text string
 		status     int
@@ -117,7 +117,7 @@
 	s.ProgressMillis = clock.Minute
 	g := New(s, clock.Real(), nil)
 	const large = 600 << 10
-	address := testServer(t, g, Options{}, Body{MaxBytes: large, Copies: 1})
+	address := testServer(t, g, Options{}, BodyLimits{MaxBytes: large, Copies: 1})
 	c, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer c.Close()
@@ -140,7 +140,7 @@
 	s := testSettings()
 	s.ProgressMillis = clock.Minute
 	g := New(s, clock.Real(), nil)
-	address := testServer(t, g, Options{}, Body{MaxBytes: 1 << 20, Copies: 1})
+	address := testServer(t, g, Options{}, BodyLimits{MaxBytes: 1 << 20, Copies: 1})
 	c, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	defer c.Close()
@@ -159,7 +159,7 @@
 // TestIdleConnectionMakesRoom guards against idle connections that keep new clients out.
 func TestIdleConnectionMakesRoom(t *testing.T) {
 	g := New(testSettings(), clock.Real(), nil)
-	address := testServer(t, g, Options{}, Body{MaxBytes: 1 << 20, Copies: 1})
+	address := testServer(t, g, Options{}, BodyLimits{MaxBytes: 1 << 20, Copies: 1})
 	for range 3 * g.connections[Clients].most {
 		c, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
@@ -240,7 +240,7 @@
 	go func() { _ = s.Serve(plain) }()
 	defer s.Close()
 	g := New(Defaults(1<<30, 1024), clock.Real(), nil)
-	limited := testServer(b, g, Options{}, Body{MaxBytes: 1 << 20, Copies: 2})
+	limited := testServer(b, g, Options{}, BodyLimits{MaxBytes: 1 << 20, Copies: 2})
 	request := withLength(1024, strings.Repeat("x", 1024))
 	for _, c := range []struct{ name, address string }{{"plain", plain.Addr().String()}, {"gate", limited}} {
 		b.Run(c.name, func(b *testing.B) {
--- a/io/trans/intake/server.go
+++ b/io/trans/intake/server.go
@@ -44,9 +44,9 @@
 	// and false for a body that must not be decoded. If it is set, Eager bodies are read
 	// before the handler is called, which then runs with that memory reserved.
 	DecodedBytes func(r *http.Request, body []byte) (int64, bool)
-	// ReservedPath is the prefix of the paths of requests whose large bodies have a budget
+	// ConsensusPath is the prefix of the paths of requests whose large bodies have a budget
 	// of their own; empty if there are none.
-	ReservedPath string
+	ConsensusPath string
 	// IdleTimeout is the longest time that a connection waits for a request.
 	IdleTimeout time.Duration
 }
@@ -76,8 +76,8 @@
 			gate: g, src: r.Body, controller: http.NewResponseController(w), options: o,
 			limit: o.MaxBodyBytes, length: r.ContentLength, charge: charge{budgets: budgets},
 		}
-		if o.ReservedPath != "" && strings.HasPrefix(r.URL.Path, o.ReservedPath) {
-			b.charge.budgets.Large = &g.reserved
+		if o.ConsensusPath != "" && strings.HasPrefix(r.URL.Path, o.ConsensusPath) {
+			b.charge.budgets.Large = &g.consensus
 		}
 		if b.conn, _ = r.Context().Value(connKey{}).(*conn); b.conn != nil {
 			b.received = b.conn.received.Load()
@@ -117,7 +117,7 @@
 	// A reservation of more than the whole budget is possible for a large body, but not
 	// for its decoded form, whose size has no other limit.
 	if !ok || n > b.charge.budgets.Large.Capacity {
-		return b.fail(newError(KindFragmented, "the message has too many parts"))
+		return b.fail(newError(KindFragmented, "decoding the message takes %d bytes or its packed fields have too many parts; allowed: %d bytes", n, b.charge.budgets.Large.Capacity))
 	}
 	b.decoded = n
 	if e := b.grow(int64(len(p))); e != nil {
--- a/io/trans/roles/run.go
+++ b/io/trans/roles/run.go
@@ -128,7 +128,7 @@
 	memberLimits = intake.Options{
 		Class: intake.Members, MaxBodyBytes: int64(peers.MaxRequestBytes), Copies: 3, Eager: true, DecodedBytes: peers.DecodedBytes,
 		// Large submissions must not displace the messages of the group.
-		ReservedPath: wirepb.ConsensusPathPrefix,
+		ConsensusPath: wirepb.ConsensusPathPrefix,
 	}
 	emptyLimits = intake.Options{Class: intake.Clients}
 )
