Set up the pools of the benchmarks in one place

Cause: three benchmarks of package sched repeated the same set-up. Change: one function takes the customers and the jobs. Result: the benchmarks run; no figure was compared.

--- a/core/state/sched/bench_test.go
+++ b/core/state/sched/bench_test.go
@@ -168,14 +168,23 @@
 // fullPool returns a scheduler with a pool whose workers are busy and in which the
 // given number of jobs wait, and the next heartbeat of each worker.
 func fullPool(workers, backlog int) (*testScheduler, []surgeWorker) {
+	return poolWith(workers, backlog+workers, nil, func(n int) jobs.Job { return surgeJob(-n) })
+}
+
+// poolWith returns a scheduler with a pool to which a number of jobs were submitted and
+// whose workers have got their first tasks, and the next heartbeat of each worker.
+func poolWith(workers, submitted int, customers []jobs.Customer, job func(n int) jobs.Job) (*testScheduler, []surgeWorker) {
 	state := jobs.New()
-	c := jobs.Config{Version: 1, Pools: []jobs.Pool{{Name: "p"}}, Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 3, Target: 3600}}}
+	c := jobs.Config{
+		Version: 1, Pools: []jobs.Pool{{Name: "p"}}, Customers: customers,
+		Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 3, Target: 3600}},
+	}
 	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
 	s := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000)
-	heartbeats := make([]surgeWorker, workers)
-	for n := range backlog + workers {
-		s.Submit(surgeJob(-n), 1000)
+	for n := range submitted {
+		s.Submit(job(n), 1000)
 	}
+	heartbeats := make([]surgeWorker, workers)
 	for i := range heartbeats {
 		heartbeats[i].Heartbeat = Heartbeat{
 			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: "p", Seq: 1, ReceivedAt: 1000,
--- a/core/state/sched/quota_bench_test.go
+++ b/core/state/sched/quota_bench_test.go
@@ -6,7 +6,6 @@
 
 	"camphorridge/core/state/clock"
 	"camphorridge/core/state/jobs"
-	"camphorridge/core/state/place"
 )
 
 // quotaBenchCores is the sum of the quotas in the benchmarks with blocked work, less than
@@ -28,26 +27,11 @@
 // customers wait, and the next heartbeat of each worker. Each customer has the given
 // quota.
 func customerPool(workers, customers, backlog int, quota jobs.Resources) (*testScheduler, []surgeWorker) {
-	state := jobs.New()
-	c := jobs.Config{Version: 1, Pools: []jobs.Pool{{Name: "p"}}, Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 3, Target: 3600}}}
-	for n := range customers {
-		c.Customers = append(c.Customers, jobs.Customer{Name: customerName(n), Quota: quota})
+	all := make([]jobs.Customer, customers)
+	for n := range all {
+		all[n] = jobs.Customer{Name: customerName(n), Quota: quota}
 	}
-	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
-	s := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000)
-	for n := range backlog {
-		s.Submit(customerJob(n, customers), 1000)
-	}
-	heartbeats := make([]surgeWorker, workers)
-	for i := range heartbeats {
-		heartbeats[i].Heartbeat = Heartbeat{
-			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: "p", Seq: 1, ReceivedAt: 1000,
-			Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 64_000}, Labels: []string{"a", fmt.Sprint("r-", i/8)},
-		}
-		s.Heartbeat(heartbeats[i].Heartbeat, 1000)
-	}
-	applyStarts(heartbeats, s.Pass(1000).Orders)
-	return s, heartbeats
+	return poolWith(workers, backlog, all, func(n int) jobs.Job { return customerJob(n, customers) })
 }
 
 // BenchmarkCustomers measures a heartbeat that reports the end of a run, one submission
--- a/core/state/sched/share_bench_test.go
+++ b/core/state/sched/share_bench_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"camphorridge/core/state/jobs"
-	"camphorridge/core/state/place"
 )
 
 // BenchmarkFullPoolOfCustomers measures the same as BenchmarkFullPool with a backlog of
@@ -49,24 +48,9 @@
 
 // fullPoolOfCustomers returns what fullPool returns, with jobs of several customers.
 func fullPoolOfCustomers(workers, backlog, customers, weight int) (*testScheduler, []surgeWorker) {
-	state := jobs.New()
-	c := jobs.Config{Version: 1, Pools: []jobs.Pool{{Name: "p"}}, Queues: []jobs.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxAttempts: 3, Target: 3600}}}
-	for n := range customers {
-		c.Customers = append(c.Customers, jobs.Customer{Name: jobs.CustomerName(fmt.Sprint("c", n)), WeightPermille: weight})
+	all := make([]jobs.Customer, customers)
+	for n := range all {
+		all[n] = jobs.Customer{Name: jobs.CustomerName(fmt.Sprint("c", n)), WeightPermille: weight}
 	}
-	state.Apply([]jobs.Op{{Kind: jobs.OpConfig, Config: &c}}, 1000)
-	s := New(Defaults(), EarliestDeadline{}, place.PeerComparison{MinScore: 3}, state, 1000)
-	heartbeats := make([]surgeWorker, workers)
-	for n := range backlog + workers {
-		s.Submit(weightedJob(-n, customers), 1000)
-	}
-	for i := range heartbeats {
-		heartbeats[i].Heartbeat = Heartbeat{
-			Worker: jobs.WorkerID(fmt.Sprint("w", i)), Machine: jobs.MachineID(fmt.Sprint("m", i)), Incarnation: 1, Pool: "p", Seq: 1, ReceivedAt: 1000,
-			Capacity: jobs.Resources{MilliCores: 16_000, MemoryMiB: 64_000}, Labels: []string{"a", fmt.Sprint("r-", i/8)},
-		}
-		s.Heartbeat(heartbeats[i].Heartbeat, 1000)
-	}
-	applyStarts(heartbeats, s.Pass(1000).Orders)
-	return s, heartbeats
+	return poolWith(workers, backlog+workers, all, func(n int) jobs.Job { return weightedJob(-n, customers) })
 }
