--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -2,14 +2,26 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 )
 
-// playForeign runs a job of long tasks on all minions. Then another writer's heartbeat
-// arrives that names the machine of one of them, with fields missing.
-func playForeign(s *system, trouble bool) error {
-	minions := newMinions(s, 6)
+// newTwoPoolConfig returns a configuration with a second pool, which has a queue of its own.
+func newTwoPoolConfig(version int) config {
+	c := newConfig(version)
+	q := c.Routes[0]
+	q.Name, q.Host, q.Backend = "r-3", otherHost, "pool-2"
+	c.Routes = append(c.Routes, q)
+	s := c.Services[0]
+	s.Name = "pool-2"
+	c.Services = append(c.Services, s)
+	return c
+}
+
+// playSameID has two clients of two queues hand in one job each. Both clients number their
+// jobs from 1, so that the ids are the same.
+func playSameID(s *system, trouble bool) error {
+	minions := newMinions(s, 4)
+	minions[2].pool, minions[3].pool = "pool-2", "pool-2"
 	c, err := startCloud(s, minions)
 	if err != nil {
 		return err
@@ -18,52 +30,55 @@
 	if err := s.launch(); err != nil {
 		return err
 	}
+	if !s.configure(newTwoPoolConfig(2), time.Now().Add(10*time.Second)) {
+		return fmt.Errorf("the configuration was not acknowledged")
+	}
 	for _, m := range minions {
 		m.start()
 		defer m.crash()
 	}
 	time.Sleep(2 * time.Second)
-	spec := specOf(work{Ms: 12000, CPU: 3000})
-	if !s.submit(jobID(1), host, job{Spec: spec, Steps: []step{{Count: 3, CPU: 3000, MemMb: 100, EstimateMs: 12000}}}, time.Now().Add(10*time.Second)) {
-		return fmt.Errorf("the job was not accepted")
+	jobOf := func(tag string) job {
+		return job{Spec: specOf(work{Ms: 500, CPU: 500, Tag: tag}), Steps: []step{{Count: 2, CPU: 500, MemMb: 100, EstimateMs: 500}}}
 	}
-	victim := s.rec.awaitRun(10 * time.Second)
-	if victim == nil {
-		return fmt.Errorf("no task has started")
+	first, second := "0000000000000001", "0000000000000001"
+	if !trouble {
+		second = "0000000000000002"
+	}
+	if !s.submit(first, host, jobOf("first"), time.Now().Add(5*time.Second)) {
+		return fmt.Errorf("the first job was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	s.rec.add("client of the first queue sees %q", s.state(0, first, host))
+	if !s.submit(second, otherHost, jobOf("second"), time.Now().Add(5*time.Second)) {
+		s.rec.add("the second job is not accepted, so that nothing is owed to its client")
+		return nil
+	}
+	state := s.state(0, second, otherHost)
+	time.Sleep(finishTime)
+	ran := s.rec.done("second")
+	switch last := s.state(1, second, otherHost); {
+	case state == "completed" && ran == 0:
+		s.rec.broken("MIXED: the second client's job was shown as completed right after it was accepted; %d s later, %d of its 2 tasks have run on idle minions", int(finishTime.Seconds()), ran)
+	case ran < 2:
+		s.rec.broken("LOST: the second client's job was accepted and %d of its 2 tasks have run after %d s on idle minions; it is %q", ran, int(finishTime.Seconds()), last)
 	}
-	time.Sleep(time.Second)
-	if trouble {
-		m := minions[0]
-		for _, x := range minions {
-			if x.id == victim.minion {
-				m = x
-			}
-		}
-		body := fmt.Sprintf(`{"backend":"pool-1","address":"127.0.0.1:9","zone":"z1","state":"ready","seq":1,"born":%d,"machine":%q}`, time.Now().UnixMilli(), m.machine)
-		target := s.controlTargets()[0]
-		r := send(http.MethodPut, target, "/camphorridge/instances/agent-7", "", nil, []byte(body), time.Second)
-		s.rec.add("another writer: PUT instances/agent-7 at %s with %s: status %d %s", target, body, r.status, r.body)
-	}
-	time.Sleep(20 * time.Second)
-	s.state(0, jobID(1), host)
-	s.rec.checkEnds()
 	return nil
 }
 
-// awaitRun waits for the first run of a task.
-func (r *record) awaitRun(timeout time.Duration) *run {
-	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		r.mu.Lock()
-		for _, runs := range r.runs {
-			if len(runs) > 0 {
-				first := runs[0]
-				r.mu.Unlock()
-				return first
+// done returns how many runs of tasks with a tag have ended done.
+func (r *record) done(tag string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, runs := range r.runs {
+		for _, x := range runs {
+			if x.w.Tag == tag && x.how == "done" {
+				n++
 			}
 		}
-		r.mu.Unlock()
 	}
-	return nil
+	return n
 }
 
 // darkTime is how long the machine of playBoot is without power.
--- a/review/stand3/cloud.go
+++ b/review/stand3/cloud.go
@@ -17,7 +17,6 @@
 	sys     *system
 	minions []*minion
 	mu      sync.Mutex
-	foreign bool
 	slow    bool
 	waves   map[int]*waveState
 	tokens  map[string]int
@@ -54,10 +53,7 @@
 			"freeResources": map[string]int{"cpu": m.cpu, "memMb": m.mem, "gpu": 0}, "id": m.id,
 		})
 	}
-	if c.foreign {
-		rows = append(rows, c.foreignRows()...)
-	}
-	c.sys.rec.add("platform: list of %d machines, with entries of another writer: %v", len(rows), c.foreign)
+	c.sys.rec.add("platform: list of %d machines", len(rows))
 	_ = json.NewEncoder(w).Encode(map[string]any{"machines": rows, "nextToken": nil})
 }
 
@@ -151,6 +147,46 @@
 	}
 }
 
+// move moves a machine: its minion ends, and a new one starts in the other pool after 1.5 s.
+func (c *cloud) move(w http.ResponseWriter, q *http.Request) {
+	var o struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+	}
+	if json.NewDecoder(q.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.minions, func(m *minion) bool { return m.machine == o.Machine })
+	if i < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	m := c.minions[i]
+	c.sys.rec.add("platform: move of %s, which is in %s, to %s by %s, token %s", o.Machine, m.pool, o.Pool, q.Header.Get("Lease-Holder"), q.Header.Get("Fencing-Token"))
+	switch {
+	case m.pool == o.Pool:
+		return
+	case m.moving:
+		w.WriteHeader(http.StatusConflict)
+		_, _ = w.Write([]byte(`{"reason":"busy"}`))
+		return
+	}
+	m.moving = true
+	m.crash()
+	m.pool = o.Pool
+	time.AfterFunc(1500*time.Millisecond, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m.moving = false
+		if o.Pool != "pool-off" {
+			m.start()
+		}
+	})
+}
+
 // advise approves every second minion.
 func (c *cloud) advise(w http.ResponseWriter, q *http.Request) {
 	var o struct {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,8 +19,7 @@
 
 var scripts = map[string]script{
 	"dags":    playDags,
-	"foreign": playForeign,
-	"list":    playList,
+	"same-id": playSameID,
 	"boot":    playBoot,
 	"soak":    playSoak,
 }
--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -269,8 +269,9 @@
 }
 
 const (
-	host    = "jobs.example"
-	advHost = "advised.example"
+	host      = "jobs.example"
+	advHost   = "advised.example"
+	otherHost = "other.example"
 )
 
 // newConfig returns a configuration with one pool and two queues, the second of which
