--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -81,8 +81,9 @@
 	return n
 }
 
-// darkTime is how long the machine of playBoot is without power.
-const darkTime = 20 * time.Second
+// darkTime is how long the machine of playBoot is without power: as long as the site's file
+// has machines of the core without it.
+const darkTime = 9500 * time.Millisecond
 
 // playBoot starts the whole system for the first time. One machine of the core loses power
 // while the others start, and has it again after darkTime, with its disk.
